--- /dev/null
+++ b/badgeryoke/__init__.py
@@ -0,0 +1,1 @@
+"""badgeryoke: a gateway on real sockets round the decision module in martenstep."""
--- /dev/null
+++ b/badgeryoke/__main__.py
@@ -0,0 +1,23 @@
+"""One real gateway: python -m badgeryoke."""
+
+import asyncio
+import logging
+import os
+import sys
+from pathlib import Path
+
+from badgeryoke.config import ConfigError, read_config
+from badgeryoke.gateway import App
+
+
+async def main() -> None:
+    config = read_config(os.environ, Path.cwd())
+    await App(config).run()
+
+
+if __name__ == "__main__":
+    logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(levelname)s %(name)s: %(message)s")
+    try:
+        asyncio.run(main())
+    except ConfigError as fault:
+        sys.exit(f"badgeryoke: configuration: {fault}")
--- /dev/null
+++ b/badgeryoke/config.py
@@ -0,0 +1,181 @@
+"""The one place where configuration is read, checked and given defaults: environment, JSON, deploy/ file."""
+
+from __future__ import annotations
+
+import ipaddress
+import tomllib
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import ujson
+
+from badgeryoke.host_group import Roster, read_roster, split_address
+from martenstep.interface import Settings
+from martenstep.settings import settings_from
+
+Address = tuple[str, int]
+MOST_CONFIG = 16 * 1024 * 1024
+
+
+class ConfigError(Exception):
+    """Configuration that cannot be used: names the faulty key."""
+
+
+@dataclass(frozen=True, slots=True)
+class DiameterConfig:
+    """The second front and the Diameter servers, as deploy/diameter.toml gives them."""
+
+    listen: Address | None
+    origin_host: str
+    origin_realm: str
+    plans: Mapping[int, str]  # Service-Identifier -> plan
+    server_kinds: frozenset[str]  # discovery's kinds whose machines speak Diameter
+    clients: frozenset[str]  # Origin-Hosts let in; empty: all
+    deadline_ms: float  # how long a client waits for a CCA (its Tx timer); 0: the class's deadline
+    watchdog_s: float
+    answers_kept_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """All that a gateway is told."""
+
+    name: str
+    listen: Address
+    discovery: Address
+    counter: Address | None
+    seed: int
+    sockets: int
+    memory_mb: float
+    known: Roster | None
+    settings: Settings
+    safe: frozenset[str]  # classes that are safe to repeat
+    report_names: tuple[str, ...]  # the load report's fields as the wire names them
+    connect_ms: float
+    idle_ms: float
+    drain_s: float  # from SIGTERM until no new connection is taken
+    diameter: DiameterConfig | None = field(default=None)
+
+
+def _address(key: str, value: object) -> Address:
+    try:
+        return split_address(str(value))
+    except ValueError as fault:
+        raise ConfigError(f"{key}: {fault}") from None
+
+
+def _number(key: str, table: Mapping[str, Any], name: str, default: float, least: float,
+            most: float = 1e12) -> float:
+    value = table.get(name, default)
+    if isinstance(value, bool) or not isinstance(value, int | float) or not least <= value <= most:
+        raise ConfigError(f"{key}.{name}: expected a number from {least:g} to {most:g}, got {value!r}")
+    return float(value)
+
+
+def _table(key: str, value: object) -> dict[str, Any]:
+    if not isinstance(value, dict):
+        raise ConfigError(f"{key}: expected an object")
+    return value
+
+
+def read_config(environ: Mapping[str, str], root: Path) -> Config:
+    """Read everything; raises ConfigError."""
+    path = environ.get("LB_CONFIG")
+    if not path:
+        raise ConfigError("LB_CONFIG: not set")
+    try:
+        text = Path(path).read_bytes()[:MOST_CONFIG]
+        raw = _table("LB_CONFIG", ujson.loads(text))
+    except OSError as fault:
+        raise ConfigError(f"LB_CONFIG: {fault.strerror}") from None
+    except ValueError:
+        raise ConfigError("LB_CONFIG: not JSON") from None
+    settings_raw = _table("settings", raw.get("settings"))
+    try:
+        settings = settings_from(settings_raw)
+    except (ValueError, TypeError) as fault:
+        raise ConfigError(str(fault)) from None
+    try:
+        seed = int(str(raw.get("seed", "0")), 16)
+    except ValueError:
+        raise ConfigError("seed: expected hex digits") from None
+    known = None
+    if raw.get("known") is not None:
+        try:
+            known = read_roster(raw["known"])
+        except ValueError as fault:
+            raise ConfigError(f"known.{fault}") from None
+    limits = _table("limits", raw.get("limits", {}))
+    policy = _table("settings.policy_limits", settings_raw.get("policy_limits", {}))
+    feedback = _table("settings.feedback", settings_raw.get("feedback", {}))
+    counter = raw.get("counter")
+    if settings.has_counter and not counter:
+        raise ConfigError("counter: missing, though settings.family_info.has_counter is set")
+    return Config(
+        name=environ.get("LB_NAME") or str(raw.get("name", "")),
+        listen=_address("LB_LISTEN", environ.get("LB_LISTEN") or raw.get("listen")),
+        discovery=_address("LB_DISCOVERY", environ.get("LB_DISCOVERY") or raw.get("discovery")),
+        counter=_address("counter", counter) if counter else None,
+        seed=seed,
+        sockets=int(_number("limits", limits, "sockets", 1024, 64)),
+        memory_mb=_number("limits", limits, "memory_mb", 192, 16),
+        known=known,
+        settings=settings,
+        safe=frozenset(c.name for c in settings.classes if c.effect.value == "safe"),
+        report_names=tuple(map(str, feedback.get("fields", ()))),
+        connect_ms=_number("settings.policy_limits", policy, "dial_timeout_ms", 250, 1),
+        idle_ms=_number("settings.policy_limits", policy, "conn_idle_ms", 30_000, 1),
+        drain_s=0.45,
+        diameter=read_diameter(root / "deploy" / "diameter.toml", settings),
+    )
+
+
+def read_diameter(path: Path, settings: Settings) -> DiameterConfig | None:
+    """The deploy/ file; None where there is none or where it does not turn the front on."""
+    try:
+        raw = tomllib.loads(path.read_text(encoding="utf-8"))
+    except FileNotFoundError:
+        return None
+    except (OSError, ValueError) as fault:
+        raise ConfigError(f"{path.name}: {fault}") from None
+    name = path.name
+    enabled = raw.get("enabled", False)
+    if not isinstance(enabled, bool):
+        raise ConfigError(f"{name}: enabled: expected true or false")
+    if not enabled:
+        return None
+    words: dict[str, str] = {}
+    for key in ("origin_host", "origin_realm"):
+        value = raw.get(key)
+        if not isinstance(value, str) or not value or not value.isascii() or len(value) > 255:
+            raise ConfigError(f"{name}: {key}: expected a DiameterIdentity")
+        words[key] = value
+    listen = _address(f"{name}: listen", raw["listen"]) if "listen" in raw else None
+    if listen is not None:
+        try:
+            loopback = ipaddress.ip_address(listen[0]).is_loopback or bool(raw.get("beyond_loopback", False))
+        except ValueError:
+            raise ConfigError(f"{name}: listen: expected an IP address") from None
+        if not loopback:
+            raise ConfigError(f"{name}: listen: not a loopback address, and beyond_loopback is not set")
+    known = {plan.name for plan in settings.plans}
+    plans: dict[int, str] = {}
+    for key, plan in _table(f"{name}: plans", raw.get("plans", {})).items():
+        if not key.isdigit() or plan not in known:
+            raise ConfigError(f"{name}: plans.{key}: expected Service-Identifier = a plan of the settings")
+        plans[int(key)] = plan
+    lists: dict[str, frozenset[str]] = {}
+    for key in ("server_kinds", "clients"):
+        value = raw.get(key, [])
+        if not isinstance(value, list) or not all(isinstance(word, str) for word in value):
+            raise ConfigError(f"{name}: {key}: expected a list of words")
+        lists[key] = frozenset(value)
+    return DiameterConfig(
+        listen=listen, origin_host=words["origin_host"], origin_realm=words["origin_realm"], plans=plans,
+        server_kinds=lists["server_kinds"], clients=lists["clients"],
+        deadline_ms=_number(name, raw, "deadline_ms", 0, 0),
+        watchdog_s=_number(name, raw, "watchdog_s", 30, 6),
+        answers_kept_s=_number(name, raw, "answers_kept_s", 240, 1),
+    )
--- /dev/null
+++ b/badgeryoke/core.py
@@ -0,0 +1,261 @@
+"""The module's actor: queries come in, executions go out, and each query gets exactly one final answer.
+
+No wire is known here.  The clock, the loop, the links to servers and the counter are passed in.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import math
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from badgeryoke.actor import Actor, Loop
+from badgeryoke.execution import End, Execution, Query, ServerLink
+from martenstep import interface as api
+from martenstep.decide import Gateway
+
+log = logging.getLogger("badgeryoke.core")
+
+# An answer is given so much before the client gives up: it has to get there, and the loop may be busy.
+GUARD_MS = 15.0
+GUARD_PART = 0.1  # and no more than this part of a short deadline
+FALLBACK_RETRY_MS = 100.0  # advice of a refusal that the module had no say in
+MOST_QUERIES = 10_000  # taken and not yet answered; more are refused unseen
+
+
+@dataclass(frozen=True, slots=True)
+class Served:
+    """The value as a server gave it, and the true units where they were told."""
+
+    value: bytes
+    true_units: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """Nothing that a repeat could harm has run; come back after so long."""
+
+    retry_after_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class Failed:
+    """No promise about its effect."""
+
+    detail: str
+
+
+Answer = Served | Refused | Failed
+
+
+class Counter(Protocol):
+    """The counter, as the core sees it."""
+
+    def add(self, name: int, units: float, life_ms: float, done: Callable[[api.Total], None]) -> None:
+        """Make one call; done is called once, later."""
+
+
+class _Running:
+    """A query that is owed its answer, or whose last execution is still out."""
+
+    __slots__ = ("answer", "attempts", "deadline_ms", "execution", "harmless", "id", "may_have_run", "query",
+                 "timer")
+
+    def __init__(self, rid: str, query: Query, answer: Callable[[Answer], None], deadline_ms: float,
+                 harmless: bool) -> None:
+        self.id, self.query, self.deadline_ms = rid, query, deadline_ms
+        self.answer: Callable[[Answer], None] | None = answer  # None: the final answer is given
+        self.harmless = harmless  # a client's own repeat does no harm even if it may have run
+        self.may_have_run = False
+        self.attempts = 0
+        self.execution: Execution | None = None
+        self.timer: asyncio.TimerHandle | None = None
+
+
+class Core(Actor):
+    """Drives one decision module."""
+
+    def __init__(self, settings: api.Settings, seed: int, loop: Loop, clock: Callable[[], float],
+                 links: Callable[[int], ServerLink | None], counter: Counter) -> None:
+        super().__init__(loop)
+        self._module = Gateway(settings, seed)
+        self._clock, self._links, self._counter = clock, links, counter
+        self._classes = {cls.name: cls for cls in settings.classes}
+        self._plans = {plan.name for plan in settings.plans}
+        self._gateways = settings.gateways
+        self._running: dict[str, _Running] = {}
+        self._next = 0
+        self.faults = 0
+
+    @property
+    def unanswered(self) -> int:
+        """Queries that are owed an answer still."""
+        return sum(1 for run in self._running.values() if run.answer is not None)
+
+    def problem(self, query: Query) -> str | None:
+        """What is wrong with a query, in words for whoever sent it; None where it can be taken."""
+        if query.cls not in self._classes:
+            return f"unknown class {query.cls[:32]!r}"
+        if query.plan not in self._plans:
+            return f"unknown plan {query.plan[:32]!r}"
+        for name, value, least in (("d", query.remaining_ms, 0.0), ("units", query.units, 0.0),
+                                   ("spread", query.spread, 1)):
+            if not (math.isfinite(value) and least <= value <= 1e9):
+                return f"{name} out of range"
+        if not 0 <= query.first < self._gateways:
+            return "first out of range"
+        return None
+
+    def submit(self, query: Query, answer: Callable[[Answer], None]) -> Callable[[], None]:
+        """Take a query: answer is called once, with its final answer.  The result tells that the client has
+        left, after which nothing is owed."""
+        self._next += 1
+        rid = str(self._next)  # of our own: a client that repeats an id must not cost another its answer
+        guard = min(GUARD_MS, GUARD_PART * query.remaining_ms)
+        cls = self._classes[query.cls]
+        harmless = (cls.effect is api.Effect.SAFE
+                    or (cls.effect is api.Effect.KEYED and cls.group is api.Group.ALL))
+        run = _Running(rid, query, answer, self._clock() + query.remaining_ms - guard, harmless)
+        self.post(self._take, run)
+        return lambda: self.post(self._left, run)
+
+    def members(self, event: api.Members) -> None:
+        """Tell the module of a member list."""
+        self.post(self._decide, event)
+
+    def _take(self, run: _Running) -> None:
+        now = self._clock()
+        left = run.deadline_ms - now
+        if left <= 0 or len(self._running) >= MOST_QUERIES:
+            self._finish(run, Refused(FALLBACK_RETRY_MS))
+            return
+        self._running[run.id] = run
+        # A timer of the core's own keeps the deadline, so that no fault of the module loses a query.
+        run.timer = self._loop.call_later(left / 1000.0, self.post, self._overdue, run)
+        query = run.query
+        self._decide(api.Request(run.id, query.cls, query.plan, query.customer, left, query.units,
+                                 query.spread, query.first, query.retry), run)
+
+    def _left(self, run: _Running) -> None:
+        if run.answer is not None:
+            run.answer = None
+            self._release(run)
+            self._decide(api.Left(run.id))
+
+    def _overdue(self, run: _Running) -> None:
+        if run.answer is None:
+            return
+        if run.execution is not None:
+            run.execution.abandon(api.Verdict.TIMEOUT)
+        self.post(self._last_word, run)  # behind the outcome, to which the module answers
+
+    def _last_word(self, run: _Running) -> None:
+        if run.answer is None:
+            return
+        log.warning("query overdue: no decision by the deadline, answered by the core")
+        self._give_up(run)
+
+    def _give_up(self, run: _Running) -> None:
+        """The final answer where the module gave none."""
+        if run.harmless or not run.may_have_run:
+            self._finish(run, Refused(FALLBACK_RETRY_MS))
+        else:
+            self._finish(run, Failed("may have run"))
+        self._decide(api.Left(run.id))
+
+    def _decide(self, event: api.Event, run: _Running | None = None) -> None:
+        """Give the module one event and carry out its actions."""
+        now = self._clock()
+        try:
+            actions = self._module.handle(now, event)
+        except Exception:
+            self.faults += 1
+            if self.faults == 1 or self.faults % 1000 == 0:
+                log.exception("module fault %d on %s", self.faults, type(event).__name__)
+            if run is not None and run.answer is not None and run.execution is None:
+                self._give_up(run)
+            return
+        for action in actions:
+            self._act(now, action)
+
+    def _act(self, now: float, action: api.Action) -> None:
+        match action:
+            case api.Send():
+                self._send(now, action)
+            case api.Refuse(id=rid, retry_after_ms=wait):
+                if (run := self._running.get(rid)) is not None:
+                    self._finish(run, Refused(wait))
+            case api.Fail(id=rid):
+                if (run := self._running.get(rid)) is not None:
+                    self._finish(run, Failed("may have run" if run.may_have_run else "not served"))
+            case api.Count(name=name, units=units, expire_ms=life):
+                self._counter.add(name, units, life, self._counted)
+            case api.Wake(at_ms=at, token=token):
+                self._loop.call_later(max(at - now, 0.0) / 1000.0, self.post, self._decide, api.Due(token))
+            case api.Cancel(id=rid, attempt=attempt):
+                run = self._running.get(rid)
+                if run is not None and run.execution is not None and run.execution.attempt == attempt:
+                    run.execution.abandon(api.Verdict.CANCELLED)
+            case api.Log(text=text):
+                log.info("module: %s", text)
+            case api.Subscribe() | api.Probe():
+                pass  # the watch runs from the start, and servers are never probed
+
+    def _counted(self, total: api.Total) -> None:
+        self.post(self._decide, total)
+
+    def _send(self, now: float, action: api.Send) -> None:
+        run = self._running.get(action.id)
+        if run is None:
+            log.warning("module sent a query that is over")
+            return
+        attempt, run.attempts = run.attempts, run.attempts + 1
+        deadline = min(run.deadline_ms, now + action.timeout_ms) if action.timeout_ms > 0 else run.deadline_ms
+        execution = Execution(run.query, attempt, action.server, now, deadline,
+                              lambda ended, end: self.post(self._ended, run, ended, end), run.may_have_run)
+        link = self._links(action.server)
+        if run.execution is not None or run.answer is None:
+            execution.moot("one attempt at a time, and none after the answer")
+        elif not execution.may_be_written(now):
+            execution.moot("too late to be sent")
+        elif link is None:
+            execution.lost("server not in the list")
+        else:
+            run.execution = execution
+            if deadline < run.deadline_ms - 1.0:
+                self._loop.call_later((deadline - now) / 1000.0, execution.abandon, api.Verdict.TIMEOUT)
+            link.start(execution)
+
+    def _ended(self, run: _Running, execution: Execution, end: End) -> None:
+        """An attempt has ended; where it was served, so is the query."""
+        if run.execution is execution:
+            run.execution = None
+        if not end.verdict.never_ran:
+            run.may_have_run = True
+        rtt = self._clock() - execution.started_ms
+        if end.verdict is api.Verdict.OK and run.answer is not None:
+            self._finish(run, Served(end.value, end.true_units))
+        over = run.answer is None
+        if over and run.execution is None:
+            self._running.pop(run.id, None)
+        self._decide(api.Outcome(run.id, execution.attempt, execution.server, end.verdict, rtt, over,
+                                 end.true_units, end.report), run)
+
+    def _finish(self, run: _Running, answer: Answer) -> None:
+        """The one place where a final answer is given."""
+        if run.answer is None:
+            return
+        give, run.answer = run.answer, None
+        self._release(run)
+        give(answer)
+
+    def _release(self, run: _Running) -> None:
+        if run.timer is not None:
+            run.timer.cancel()
+        if run.execution is None:
+            self._running.pop(run.id, None)
+        else:  # its end is still to be told to the module
+            run.execution.abandon(api.Verdict.CANCELLED)
--- /dev/null
+++ b/badgeryoke/execution.py
@@ -0,0 +1,120 @@
+"""One attempt at a server, from its start to the one value that says how it ended."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+from typing import Protocol
+
+from martenstep.interface import Verdict
+
+
+class Stage(Enum):
+    """How far an attempt has come."""
+
+    NOT_WRITTEN = "not written"
+    WRITTEN = "written whole"
+    ENDED = "ended"
+
+
+@dataclass(frozen=True, slots=True)
+class End:
+    """How an attempt ended: the verdict, how far it had come, and what the server gave."""
+
+    verdict: Verdict
+    reached: Stage
+    value: bytes = b""
+    true_units: float = 0.0
+    report: tuple[float, ...] = ()
+    detail: str = ""
+
+
+@dataclass(slots=True)
+class Query:
+    """A client's request in the few values that the decisions and the server links use."""
+
+    id: str
+    cls: str
+    plan: str
+    customer: int
+    remaining_ms: float
+    units: float
+    spread: int
+    first: int = 0
+    retry: bool = False
+    key: str = ""
+    body: bytes | None = None
+    # A repeat of something another gateway may have run: no attempt may be written after this time.
+    send_by_ms: float | None = None
+
+
+class ServerLink(Protocol):
+    """A server, as the core sees it, whatever its wire."""
+
+    def start(self, execution: Execution) -> None:
+        """Carry out an attempt; it ends by a call of the execution's own methods, never by an exception."""
+
+
+class Execution:
+    """One attempt.  Its first end counts, and every later one is ignored."""
+
+    __slots__ = ("_on_end", "attempt", "deadline_ms", "on_abandon", "query", "repeat", "server", "stage",
+                 "started_ms")
+
+    def __init__(self, query: Query, attempt: int, server: int, started_ms: float, deadline_ms: float,
+                 on_end: Callable[[Execution, End], None], repeat: bool = False) -> None:
+        self.query, self.attempt, self.server = query, attempt, server
+        self.started_ms, self.deadline_ms = started_ms, deadline_ms
+        self.repeat = repeat  # an earlier attempt may have run
+        self.stage = Stage.NOT_WRITTEN
+        self.on_abandon: Callable[[], None] | None = None  # set by the server link: ends the attempt there
+        self._on_end = on_end
+
+    @property
+    def ended(self) -> bool:
+        return self.stage is Stage.ENDED
+
+    def may_be_written(self, now_ms: float) -> bool:
+        """Whether there is still a point, and no harm, in writing it."""
+        by = self.query.send_by_ms
+        return self.stage is Stage.NOT_WRITTEN and now_ms < self.deadline_ms and (by is None or now_ms < by)
+
+    def written(self) -> None:
+        """The last byte is out: from here on it may have run."""
+        if self.stage is Stage.NOT_WRITTEN:
+            self.stage = Stage.WRITTEN
+
+    def served(self, value: bytes, true_units: float = 0.0, report: tuple[float, ...] = ()) -> None:
+        self._end(Verdict.OK, value=value, true_units=true_units, report=report)
+
+    def error(self, detail: str, report: tuple[float, ...] = ()) -> None:
+        """The server says that it failed: it may have run."""
+        self._end(Verdict.ERROR, report=report, detail=detail)
+
+    def turned_away(self, detail: str) -> None:
+        """The server says that it never began."""
+        self._end(Verdict.FULL, detail=detail)
+
+    def lost(self, detail: str) -> None:
+        """The connection never came up or is gone: what that proves depends on how far the attempt came."""
+        self._end(Verdict.CONNECT_FAILED if self.stage is Stage.NOT_WRITTEN else Verdict.RESET, detail=detail)
+
+    def moot(self, detail: str) -> None:
+        """It was not sent, and will not be."""
+        self._end(Verdict.MOOT, detail=detail)
+
+    def abandon(self, verdict: Verdict) -> None:
+        """Stop waiting: cancelled or timed out.  What was never written whole could not connect."""
+        unwritten = self.stage is Stage.NOT_WRITTEN
+        self._end(Verdict.CONNECT_FAILED if unwritten else verdict, detail="given up")
+
+    def _end(self, verdict: Verdict, value: bytes = b"", true_units: float = 0.0,
+             report: tuple[float, ...] = (), detail: str = "") -> None:
+        if self.stage is Stage.ENDED:
+            return
+        reached, self.stage = self.stage, Stage.ENDED
+        self._on_end(self, End(verdict, reached, value, true_units, report, detail))
+        if self.on_abandon is not None:
+            release, self.on_abandon = self.on_abandon, None
+            release()
--- /dev/null
+++ b/badgeryoke/gateway.py
@@ -0,0 +1,159 @@
+"""Puts the parts together: one gateway, from its configuration to its end."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import signal
+import time
+
+from tornado.iostream import IOStream
+from tornado.netutil import bind_sockets
+from tornado.tcpserver import TCPServer
+
+from badgeryoke.actor import Loop, WallClock
+from badgeryoke.config import Config
+from badgeryoke.core import Core
+from badgeryoke.counter import CounterLink
+from badgeryoke.execution import ServerLink
+from badgeryoke.host_group import Host, HostGroup
+from badgeryoke.resp.client_link import ClientLink
+from badgeryoke.resp.server_link import RespServerLink
+from martenstep.interface import Members, State, Total, Verdict
+
+log = logging.getLogger("badgeryoke")
+
+CLIENT_PART, SERVER_PART = 0.5, 0.3  # of the descriptors, for clients and for servers
+LEAST_POOL = 4
+SWEEP_S = 1.0
+CLIENT_BUFFER = 512 * 1024  # bound of what is read of a client and not yet taken
+CLIENT_WRITES = 2 * 1024 * 1024  # and of what it has not yet fetched
+DRAIN_MOST_S = 3.2  # after SIGTERM: well before SIGKILL
+
+
+class NoCounter:
+    """Stands where the settings give no counter."""
+
+    def __init__(self, loop: Loop) -> None:
+        self._loop = loop
+
+    def add(self, name: int, units: float, life_ms: float, done: object) -> None:
+        self._loop.call_soon(done, Total(name, Verdict.CONNECT_FAILED, 0.0))  # type: ignore[arg-type]
+
+
+class RespFront(TCPServer):
+    """Accepts the platform's clients."""
+
+    def __init__(self, core: Core, loop: Loop, most: int, host_group: HostGroup) -> None:
+        super().__init__(max_buffer_size=CLIENT_BUFFER)
+        self._core, self._loop, self._most, self._host_group = core, loop, most, host_group
+        self.links: dict[ClientLink, None] = {}
+        self.leaving = False
+
+    def ready(self) -> bool:
+        return self._host_group.ready and not self.leaving
+
+    async def handle_stream(self, stream: IOStream, address: object) -> None:
+        if len(self.links) >= self._most:
+            log.warning("client turned away: %d connections are open", len(self.links))
+            stream.close()
+            return
+        stream.set_nodelay(True)
+        stream.max_write_buffer_size = CLIENT_WRITES
+        link = ClientLink(stream, self._core, self._loop, self.ready, self._closed)
+        self.links[link] = None
+        await link.serve()
+
+    def _closed(self, link: ClientLink) -> None:
+        self.links.pop(link, None)
+
+
+class App:
+    """One gateway."""
+
+    def __init__(self, config: Config) -> None:
+        self._config = config
+        self._loop = loop = asyncio.get_running_loop()
+        self._clock = WallClock(time.monotonic, time.time)
+        self._links: dict[int, tuple[tuple[str, int], RespServerLink]] = {}
+        self._counter = (CounterLink(config.counter, config.settings.counter_timeout_ms, loop, self._clock)
+                         if config.counter is not None else None)
+        self.core = Core(config.settings, config.seed, loop, self._clock, self._link,
+                         self._counter or NoCounter(loop))
+        self._hosts = HostGroup(config.discovery, config.known, loop, self._changed)
+        self._front = RespFront(self.core, loop, int(config.sockets * CLIENT_PART), self._hosts)
+        self._done = asyncio.Event()
+        self._ending = False
+
+    def start(self) -> None:
+        """Listen, connect and watch."""
+        if self._counter is not None:
+            self._counter.open()
+        self._hosts.start()
+        host, port = self._config.listen
+        self._front.add_sockets(bind_sockets(port, host, backlog=512))
+        self._loop.call_later(SWEEP_S, self._sweep)
+        log.info("gateway %s listens on %s:%d", self._config.name, host, port)
+
+    async def run(self) -> None:
+        """Serve until SIGTERM, then answer all that was taken."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self._loop.add_signal_handler(number, self.end)
+        self.start()
+        await self._done.wait()
+
+    def _link(self, server: int) -> ServerLink | None:
+        found = self._links.get(server)
+        return None if found is None else found[1]
+
+    def _changed(self, members: Members, hosts: dict[int, Host]) -> None:
+        """Bring the server links in line with the list before the module hears of it."""
+        most = max(int(self._config.sockets * SERVER_PART) // max(len(hosts), 1), LEAST_POOL)
+        for number, (address, link) in list(self._links.items()):
+            host = hosts.get(number)
+            if host is None or host.address != address:
+                link.drain()
+                del self._links[number]
+        for number, host in hosts.items():
+            if number not in self._links:
+                self._links[number] = host.address, RespServerLink(
+                    host.address, self._loop, self._clock, safe=self._config.safe,
+                    report_names=self._config.report_names, connect_ms=self._config.connect_ms,
+                    idle_ms=self._config.idle_ms, most=most)
+            link = self._links[number][1]
+            if host.state is State.UP:
+                link.reopen()
+            else:
+                link.drain()
+        self.core.members(members)
+
+    def _sweep(self) -> None:
+        for _, link in self._links.values():
+            link.sweep()
+        self._loop.call_later(SWEEP_S, self._sweep)
+
+    def end(self) -> None:
+        """SIGTERM: go on taking connections for a while, answer everything, then stop."""
+        if self._ending:
+            return
+        self._ending = True
+        self._front.leaving = True
+        log.info("ending: %d unanswered", self.core.unanswered)
+        self._loop.call_later(self._config.drain_s, self._stop_taking)
+
+    def _stop_taking(self) -> None:
+        self._front.stop()
+        for link in list(self._front.links):
+            link.end()
+        self._loop.call_later(DRAIN_MOST_S - self._config.drain_s, self._done.set)
+        self._await_end()
+
+    def _await_end(self) -> None:
+        if self._front.links:
+            self._loop.call_later(0.02, self._await_end)
+            return
+        log.info("ended: all answered")
+        self._hosts.stop()
+        if self._counter is not None:
+            self._counter.close()
+        self._loop.call_later(0.02, self._done.set)
--- /dev/null
+++ b/badgeryoke/host_group.py
@@ -0,0 +1,254 @@
+"""Discovery's list of servers, kept by a watch: an actor of its own."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import math
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import ujson
+from tornado.iostream import IOStream, StreamClosedError
+
+from badgeryoke.actor import READ_CHUNK, Actor, Loop
+from martenstep.interface import Members, Scope, Server, State
+
+log = logging.getLogger("badgeryoke.host_group")
+
+PATH = "/api/targets"
+WAIT_MS = 5000  # how long a watch may wait: short, so that a watch that has died in silence is soon found out
+SILENT_S = 1.0  # no answer for this long after that: the connection is given up
+WHOLE_S = 2.0  # for an answer to the first call, which need not wait for anything
+BACK_OFF_S = (0.02, 0.5)  # before the next connection: at first and at most
+MAX_HEAD, MAX_BODY = 16 * 1024, 4 * 1024 * 1024
+STATES = {"active": State.UP, "leaving": State.DRAINING, "left": State.GONE}
+
+
+@dataclass(frozen=True, slots=True)
+class Host:
+    """One server as discovery names it."""
+
+    id: str
+    address: tuple[str, int]
+    zone: str
+    kind: str
+    cell: int
+    state: State
+    size: float
+    started_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class Roster:
+    """A list from discovery, whole or as changes."""
+
+    version: int
+    full: bool
+    hosts: tuple[Host, ...]
+
+
+def split_address(text: str) -> tuple[str, int]:
+    """HOST:PORT; raises ValueError."""
+    host, colon, port = text.rpartition(":")
+    if not colon or not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError(f"expected HOST:PORT, got {text[:64]!r}")
+    return host.strip("[]"), int(port)
+
+
+def _number(entry: dict[str, Any], name: str, default: float) -> float:
+    value = entry.get(name, default)
+    if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
+        raise ValueError(f"{name}: expected a number")
+    return float(value)
+
+
+def read_roster(raw: Any) -> Roster:
+    """Read a list, as parsed from its JSON, into the few values used; raises ValueError naming the key."""
+    if not isinstance(raw, dict) or not isinstance(raw.get("servers"), list):
+        raise ValueError("servers: expected a list")
+    hosts = []
+    for entry in raw["servers"]:
+        if not isinstance(entry, dict):
+            raise ValueError("servers: expected objects")
+        state = entry.get("state")
+        if not isinstance(entry.get("id"), str) or state not in STATES:
+            raise ValueError("servers: id or state missing or unknown")
+        gone = state == "left" and "addr" not in entry
+        address = ("", 0) if gone else split_address(str(entry.get("addr")))
+        hosts.append(Host(entry["id"], address, str(entry.get("zone", "")), str(entry.get("kind", "")),
+                          int(_number(entry, "cell", 0)), STATES[state], _number(entry, "weight", 1.0),
+                          _number(entry, "started_ms", 0)))
+    return Roster(int(_number(raw, "version", 0)), raw.get("full") is True, tuple(hosts))
+
+
+class Response:
+    """An HTTP/1.1 response, read piece by piece."""
+
+    def __init__(self) -> None:
+        self._buffer = bytearray()
+        self._left: int | None = None  # of the body, or of the chunk, that is being read
+        self._chunked = False
+        self.body = bytearray()
+        self.status = 0
+        self.keep = True
+
+    def feed(self, data: bytes) -> bool:
+        """Whether the response is whole; raises ValueError where it is malformed or too large."""
+        self._buffer += data
+        if not self.status and not self._head():
+            return False
+        while self._chunked:
+            if self._left is None:
+                end = self._buffer.find(b"\r\n")
+                if end < 0 or end > 64:
+                    if len(self._buffer) > 64:
+                        raise ValueError("chunk without a length")
+                    return False
+                self._left = int(self._buffer[:end].split(b";")[0], 16)
+                del self._buffer[:end + 2]
+                if self._left < 0 or len(self.body) + self._left > MAX_BODY:
+                    raise ValueError("body too large")
+            if len(self._buffer) < self._left + 2:
+                return False
+            self.body += self._buffer[:self._left]
+            last = self._left == 0
+            del self._buffer[:self._left + 2]
+            self._left = None
+            if last:
+                return True
+        if self._left is None or len(self._buffer) < self._left:
+            return False
+        self.body += self._buffer[:self._left]
+        return True
+
+    def _head(self) -> bool:
+        end = self._buffer.find(b"\r\n\r\n")
+        if end > MAX_HEAD or (end < 0 and len(self._buffer) > MAX_HEAD):
+            raise ValueError("head too large")
+        if end < 0:
+            return False
+        first, *lines = bytes(self._buffer[:end]).decode("latin-1").split("\r\n")
+        del self._buffer[:end + 4]
+        words = first.split(" ", 2)
+        if len(words) < 2 or not words[0].startswith("HTTP/1.") or not words[1].isdigit():
+            raise ValueError("no HTTP response")
+        parts = (line.partition(":") for line in lines)
+        headers = {name.strip().lower(): value.strip() for name, _, value in parts}
+        self._chunked = headers.get("transfer-encoding", "").lower() == "chunked"
+        self.keep = headers.get("connection", "").lower() != "close" and words[0] != "HTTP/1.0"
+        if not self._chunked:
+            length = headers.get("content-length", "")
+            if not length.isdigit() or int(length) > MAX_BODY:
+                raise ValueError("no length, or body too large")
+            self._left = int(length)
+        self.status = int(words[1])
+        return True
+
+
+class HostGroup(Actor):
+    """Keeps the list, and tells of each change: the module's members, and who is at which address."""
+
+    def __init__(self, address: tuple[str, int], known: Roster | None, loop: Loop,
+                 changed: Callable[[Members, dict[int, Host]], None]) -> None:
+        super().__init__(loop)
+        self._address, self._known, self._changed = address, known, changed
+        self._numbers: dict[str, int] = {}  # the module's ids are numbers
+        self._last = 0
+        self._hosts: dict[int, Host] = {}
+        self._version: int | None = None
+        self._stream: IOStream | None = None
+        self._complaint = ""
+        self._stopped = False
+        self.ready = False  # some list is known
+
+    def start(self) -> None:
+        """Go by the list known at the start until discovery answers."""
+        if self._known is not None and self._known.hosts:
+            self.post(self._take, self._known, Scope.WARM_COPY)
+        self._task = asyncio.ensure_future(self._watch())
+
+    def stop(self) -> None:
+        self._stopped = True
+        if self._stream is not None:
+            self._stream.close()
+
+    def _take(self, roster: Roster, scope: Scope) -> None:
+        self._version = roster.version if scope is not Scope.WARM_COPY else None
+        servers = []
+        whole = scope is not Scope.CHANGES
+        hosts: dict[int, Host] = {} if whole else dict(self._hosts)
+        for host in roster.hosts:
+            number = self._numbers.get(host.id)
+            if number is None:
+                self._last += 1
+                number = self._numbers[host.id] = self._last
+            hosts[number] = host
+            servers.append(Server(number, host.zone, host.kind, host.cell, host.state, host.size,
+                                  host.started_ms))
+        self._hosts = {n: host for n, host in hosts.items() if host.state is not State.GONE}
+        if len(self._numbers) > 64 + 4 * len(self._hosts):  # forget the names of what is long gone
+            self._numbers = {name: n for name, n in self._numbers.items() if n in self._hosts}
+        if whole or servers:
+            self.ready = True
+            self._changed(Members(scope, tuple(servers)), dict(self._hosts))
+
+    async def _watch(self) -> None:
+        """Call, take in the answer, call again at once; connect anew after a fault."""
+        back_off = BACK_OFF_S[0]
+        while not self._stopped:
+            try:
+                await self._converse()
+                back_off = BACK_OFF_S[0]
+            except (StreamClosedError, OSError, ValueError, TimeoutError) as fault:
+                self._complain(f"{type(fault).__name__}: {fault}")
+            finally:
+                if self._stream is not None:
+                    self._stream.close()
+                    self._stream = None
+            if not self._stopped:
+                await asyncio.sleep(back_off)
+                back_off = min(back_off * 2, BACK_OFF_S[1])
+
+    async def _converse(self) -> None:
+        """One connection's calls; returns where the other side wants a new one."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        stream = self._stream = IOStream(sock, max_buffer_size=MAX_BODY + MAX_HEAD)
+        await asyncio.wait_for(stream.connect(self._address), SILENT_S)
+        keep = True
+        while keep and not self._stopped:
+            # After a lost connection the watch goes on from the version held: what was missed comes first.
+            query = "" if self._version is None else f"?after={self._version}&wait_ms={WAIT_MS}"
+            call = f"GET {PATH}{query} HTTP/1.1\r\nHost: {self._address[0]}:{self._address[1]}\r\n\r\n"
+            await stream.write(call.encode())
+            patience = WHOLE_S if self._version is None else WAIT_MS / 1000.0 + SILENT_S
+            response = await asyncio.wait_for(self._response(stream), patience)
+            keep = response.keep
+            if response.status != 200:
+                raise ValueError(f"status {response.status}")
+            roster = read_roster(ujson.loads(bytes(response.body)))
+            if self._complaint:
+                self._complaint = ""
+                log.info("discovery answers again, version %d", roster.version)
+            if self._version is None and not roster.full:
+                raise ValueError("changes where the whole list was asked for")
+            if roster.full:
+                self._take(roster, Scope.FULL)
+            else:
+                self._take(roster, Scope.CHANGES)
+
+    @staticmethod
+    async def _response(stream: IOStream) -> Response:
+        response = Response()
+        while not response.feed(await stream.read_bytes(READ_CHUNK, partial=True)):
+            pass
+        return response
+
+    def _complain(self, text: str) -> None:
+        """Log a fault once until discovery answers again."""
+        if not self._complaint and not self._stopped:
+            self._complaint = text
+            log.warning("discovery watch broken: %s", text)
--- /dev/null
+++ b/badgeryoke/resp/client_link.py
@@ -0,0 +1,177 @@
+"""The platform's front: one RESP2 connection of a client, and the listener that accepts them."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections import deque
+from collections.abc import Callable
+
+from tornado.iostream import IOStream, StreamClosedError
+
+from badgeryoke.actor import READ_CHUNK, Actor, Loop
+from badgeryoke.core import Answer, Core, Refused, Served
+from badgeryoke.execution import Query
+from badgeryoke.resp.parser import Parser, ProtocolError, Value, bulk, error, pairs
+
+log = logging.getLogger("badgeryoke.resp.client")
+
+COMMANDS = {b"SVC.QUERY", b"SVC.SUBMIT"}
+MOST_WAITING = 256  # commands of one connection that wait for their answers; more are not read meanwhile
+PONG, OK = b"+PONG\r\n", b"+OK\r\n"
+
+
+def read_query(words: list[Value]) -> Query:
+    """A query from a command's words; raises ValueError that says what is wrong."""
+    if not 4 <= len(words) <= 5 or not all(type(word) is bytes for word in words):
+        raise ValueError("expected CUSTOMER ID LIST and at most a body")
+    customer, rid, listed = (bytes(word) for word in words[1:4] if isinstance(word, bytes))
+    if len(customer) != 16 or not 0 < len(rid) <= 64:
+        raise ValueError("customer or id of the wrong length")
+    given = pairs(listed)
+    number = int(customer, 16)
+    if number >= 1 << 33:
+        raise ValueError("customer out of range")
+    try:
+        query = Query(
+            id=rid.decode("ascii"), cls=given["c"], plan=given["t"], customer=number,
+            remaining_ms=float(given["d"]), units=float(given["units"]), spread=int(given["spread"]),
+            first=int(given["first"]), retry=given.get("r") == "1", key=given.get("k", ""),
+        )
+    except KeyError as missing:
+        raise ValueError(f"no {missing.args[0]} in the list") from None
+    if len(words) == 5 and isinstance(words[4], bytes):
+        query.body = words[4]
+    return query
+
+
+def encode(answer: Answer) -> bytes:
+    """A final answer on this wire."""
+    match answer:
+        case Served(value=value):
+            return bulk(value)
+        case Refused(retry_after_ms=wait):
+            return b"-BUSY %d\r\n" % max(round(wait), 1)
+    return error(f"ERR failed {answer.detail}")
+
+
+class _Slot:
+    """The place of one command in the order of answers."""
+
+    __slots__ = ("left", "reply")
+
+    def __init__(self, reply: bytes | None = None) -> None:
+        self.reply = reply
+        self.left: Callable[[], None] | None = None  # tells the core that the client has gone
+
+
+class ClientLink(Actor):
+    """One connection: commands in, answers out in the commands' order, one write a turn."""
+
+    def __init__(self, stream: IOStream, core: Core, loop: Loop, ready: Callable[[], bool],
+                 closed: Callable[[ClientLink], None]) -> None:
+        super().__init__(loop)
+        self._stream, self._core, self._ready, self._closed = stream, core, ready, closed
+        self._parser = Parser()
+        self._slots: deque[_Slot] = deque()
+        self._ending = False  # closes once what was taken is answered
+        self._broken = False  # nothing after a fault can be read
+        self._room = asyncio.Event()
+        stream.set_close_callback(lambda: self.post(self._gone))
+
+    async def serve(self) -> None:
+        """Read until the connection ends, and no further while too many commands wait for their answers."""
+        try:
+            while True:
+                self.post(self._take, await self._stream.read_bytes(READ_CHUNK, partial=True))
+                if len(self._slots) >= MOST_WAITING:
+                    self._room.clear()
+                    await self._room.wait()
+        except StreamClosedError:
+            pass
+
+    def _take(self, data: bytes) -> None:
+        if self._broken:
+            return
+        try:
+            values = self._parser.feed(data)
+        except ProtocolError as fault:
+            log.info("client broke the protocol: %s", fault)
+            self._slots.append(_Slot(error(f"ERR protocol: {fault}")))
+            self._broken = self._ending = True
+            return
+        for value in values:
+            self._command(value)
+
+    def _command(self, value: Value) -> None:
+        slot = _Slot()
+        self._slots.append(slot)
+        if not isinstance(value, list) or not value or not isinstance(value[0], bytes):
+            slot.reply = error("ERR expected an array of bulk strings")
+            return
+        name = value[0].upper()
+        if name in COMMANDS:
+            try:
+                query = read_query(value)
+                if problem := self._core.problem(query):
+                    raise ValueError(problem)
+            except (ValueError, OverflowError) as fault:
+                slot.reply = error(f"ERR syntax: {fault}")
+                return
+            slot.left = self._core.submit(query, lambda answer: self.post(self._answered, slot, answer))
+        elif name == b"PING":
+            slot.reply = PONG if self._ready() else error("ERR not ready")
+        elif name in (b"CLIENT", b"SELECT"):
+            slot.reply = OK
+        else:
+            slot.reply = error("ERR unknown command")
+
+    def _answered(self, slot: _Slot, answer: Answer) -> None:
+        slot.reply, slot.left = encode(answer), None
+
+    def turn_ended(self) -> None:
+        """Write the answers that are at the head of the order, in one piece."""
+        slots, out = self._slots, []
+        while slots and slots[0].reply is not None:
+            out.append(slots.popleft().reply)
+        if self._stream.closed():
+            return
+        if out:
+            try:
+                self._stream.write(b"".join(part for part in out if part))
+            except StreamClosedError:
+                return
+            except Exception as fault:  # the write buffer's bound
+                log.warning("client reads too slowly, connection closed: %s", fault)
+                self._stream.close()
+                return
+        if len(slots) < MOST_WAITING:
+            self._room.set()
+        if self._ending and not slots:
+            self._finish()
+
+    def _finish(self) -> None:
+        if self._stream.writing():
+            self._loop.call_later(0.01, self.post, self._finish)
+        else:
+            self._stream.close()
+
+    def end(self) -> None:
+        """Close as soon as everything taken has its answer."""
+        self.post(self._end)
+
+    def _end(self) -> None:
+        if not self._parser.idle:  # a command is on its way in: it is taken first
+            self._loop.call_later(0.02, self.post, self._end)
+            return
+        self._ending = True
+
+    def _gone(self) -> None:
+        """The client has left: nothing more is owed."""
+        slots, self._slots = self._slots, deque()
+        self._room.set()
+        for slot in slots:
+            if slot.left is not None:
+                slot.left()
+        self._closed(self)
+
--- /dev/null
+++ b/badgeryoke/resp/parser.py
@@ -0,0 +1,142 @@
+"""RESP2, read piece by piece and written whole."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+MAX_BULK = 64 * 1024  # the protocol's bound on a value
+
+
+class ProtocolError(Exception):
+    """The bytes are not RESP2, or pass a bound: nothing after them can be read."""
+
+
+class Status(bytes):
+    """A simple string, such as +OK."""
+
+
+class ErrorReply(bytes):
+    """An error line, such as -BUSY 20, without its sign."""
+
+
+Value = bytes | int | None | list["Value"]
+
+
+class Parser:
+    """Takes bytes as they come and gives the values that are whole.
+
+    Each byte is looked at once, however small the pieces: what is read of an unfinished array is kept.
+    """
+
+    def __init__(self, max_bulk: int = MAX_BULK, max_items: int = 16, max_depth: int = 2,
+                 max_line: int = 1024) -> None:
+        self._max_bulk, self._max_items = max_bulk, max_items
+        self._max_depth, self._max_line = max_depth, max_line
+        self._buffer = bytearray()
+        self._bulk: int | None = None  # length of the bulk string that is being read
+        self._open: list[tuple[int, list[Value]]] = []  # arrays begun, and how many items each will have
+        self._scanned = 0  # bytes of the buffer known to hold no line end
+
+    @property
+    def idle(self) -> bool:
+        """Whether nothing has been begun."""
+        return not self._buffer and not self._open and self._bulk is None
+
+    def feed(self, data: bytes) -> list[Value]:
+        """The values that data completes."""
+        buffer = self._buffer
+        buffer += data
+        at = 0
+        whole: list[Value] = []
+        while True:
+            if self._bulk is not None:
+                end = at + self._bulk
+                if len(buffer) < end + 2:
+                    break
+                if buffer[end:end + 2] != b"\r\n":
+                    raise ProtocolError("bulk string without its line end")
+                value: Value = bytes(buffer[at:end])
+                self._bulk, at = None, end + 2
+            else:
+                end = buffer.find(b"\r\n", max(at, self._scanned))
+                if end - at > self._max_line or (end < 0 and len(buffer) - at > self._max_line):
+                    raise ProtocolError("line too long")
+                if end < 0:
+                    self._scanned = max(len(buffer) - 1, at)
+                    break
+                kind, line, at = buffer[at:at + 1], bytes(buffer[at + 1:end]), end + 2
+                self._scanned = at
+                if kind == b"$":
+                    length = self._length(line, self._max_bulk)
+                    if length >= 0:
+                        self._bulk = length
+                        continue
+                    value = None
+                elif kind == b"*":
+                    count = self._length(line, self._max_items)
+                    if count > 0:
+                        if len(self._open) >= self._max_depth:
+                            raise ProtocolError("arrays too deep")
+                        self._open.append((count, []))
+                        continue
+                    value = [] if count == 0 else None
+                elif kind == b"+":
+                    value = Status(line)
+                elif kind == b"-":
+                    value = ErrorReply(line)
+                elif kind == b":":
+                    value = self._integer(line)
+                else:
+                    raise ProtocolError("unknown type byte")
+            while self._open:
+                count, items = self._open[-1]
+                items.append(value)
+                if len(items) < count:
+                    break
+                self._open.pop()
+                value = items
+            else:
+                whole.append(value)
+        del buffer[:at]
+        self._scanned = max(self._scanned - at, 0)
+        return whole
+
+    @staticmethod
+    def _integer(line: bytes) -> int:
+        digits = line[1:] if line[:1] in (b"-", b"+") else line
+        if not digits.isdigit() or len(digits) > 19:
+            raise ProtocolError("number expected")
+        return int(line)
+
+    def _length(self, line: bytes, most: int) -> int:
+        length = self._integer(line)
+        if length < -1 or length > most:
+            raise ProtocolError("length out of bounds")
+        return length
+
+
+def command(words: Iterable[bytes]) -> bytes:
+    """A command: an array of bulk strings."""
+    parts = [b"$%d\r\n%b\r\n" % (len(word), word) for word in words]
+    return b"*%d\r\n%b" % (len(parts), b"".join(parts))
+
+
+def bulk(value: bytes) -> bytes:
+    """One bulk string."""
+    return b"$%d\r\n%b\r\n" % (len(value), value)
+
+
+def error(words: str) -> bytes:
+    """An error line; line ends inside are not let out."""
+    return b"-%b\r\n" % " ".join(words.split()).encode("ascii", "replace")
+
+
+def pairs(text: bytes) -> dict[str, str]:
+    """A list of names and values, name=value set apart by commas; raises ValueError."""
+    found: dict[str, str] = {}
+    for part in text.decode("ascii").split(","):
+        name, equals, value = part.partition("=")
+        if not equals or not name:
+            raise ValueError("expected name=value")
+        found[name] = value
+    return found
--- a/martenstep/wirehost.py
+++ b/martenstep/wirehost.py
@@ -13,8 +13,8 @@
 
 from martenstep import interface as api
 from martenstep.decide import Gateway
+from martenstep.settings import settings_from
 
-EFFECTS = {"idempotent": api.Effect.SAFE, "deduplicated": api.Effect.KEYED, "at_most_once": api.Effect.UNSAFE}
 VERDICTS = {
     "Ok": api.Verdict.OK,
     "Failed": api.Verdict.ERROR,
@@ -32,8 +32,6 @@
     "warm_copy": api.Scope.WARM_COPY,
     "lost": api.Scope.LOST,
 }
-REPORT_FIELDS = {"rif": "in_flight", "q": "queue", "busy": "busy", "lat_ms": "latency_ms", "rate": "rate",
-                 "fail_rate": "error_rate"}
 LAST_FIELDS = ("params", "text")
 
 
@@ -111,88 +109,15 @@
     return name, Fields(pairs)
 
 
-def _need(table: dict[str, Any], path: str) -> Any:
-    value: Any = table
-    for part in path.split("."):
-        if not isinstance(value, dict) or part not in value:
-            raise ValueError(f"setting {path}: missing")
-        value = value[part]
-    return value
-
-
-def _effect(entry: dict[str, Any]) -> api.Effect:
-    word = _need(entry, "idempotency")
-    if word not in EFFECTS:
-        raise ValueError(f"setting classes[].idempotency: expected one of {', '.join(EFFECTS)}, got {word!r}")
-    return EFFECTS[word]
-
-
 def read_settings(text: str) -> api.Settings:
-    """Turn the wire's settings into the module's; raises ValueError naming the key."""
+    """The settings in a field's JSON text; raises ValueError naming the key."""
     try:
         raw = json.loads(text)
     except ValueError:
         raise WireError("field params: expected a JSON object") from None
     if not isinstance(raw, dict):
         raise WireError("field params: expected a JSON object")
-    family, limits, rules = raw.get("family_info", {}), _need(raw, "policy_limits"), _need(raw, "rules")
-    feedback = raw.get("feedback", {})
-    try:
-        return api.Settings(
-            me=int(_need(raw, "me")),
-            gateways=int(_need(raw, "instances")),
-            zone=raw.get("zone", ""),
-            tick_ms=float(_need(raw, "tick_ms")),
-            classes=tuple(
-                api.RequestClass(
-                    name=_need(entry, "name"),
-                    aim_ms=float(_need(entry, "slo_ms")),
-                    deadline_ms=float(_need(entry, "deadline_ms")),
-                    effect=_effect(entry),
-                    group=api.Group(entry.get("group", "all")),
-                    window_ms=float(entry.get("window_ms", 0.0)),
-                    worth=float(entry.get("worth", 1.0)),
-                    late_share=float(entry.get("late_share", 0.0)),
-                )
-                for entry in _need(raw, "classes")
-            ),
-            plans=tuple(
-                api.Plan(
-                    name=_need(entry, "name"),
-                    rate=float(entry.get("units_per_s", 0.0)),
-                    burst=float(entry.get("most_at_once", 0.0)),
-                    open_limit=int(entry.get("open", 0)),
-                    price=float(entry.get("worth_factor", 1.0)),
-                    over_worth=float(entry.get("over_worth", 0.0)),
-                    over_cost=float(entry.get("beyond_costs", 0.0)),
-                    ceiling_rate=float(entry.get("hard_rate", 0.0)),
-                    ceiling_burst=float(entry.get("cap_depth", 0.0)),
-                    ceiling_slack=float(entry.get("tolerance", 0.0)),
-                )
-                for entry in raw.get("contracts", [])
-            ),
-            kinds=tuple(raw.get("kinds", ())),
-            has_counter=bool(family.get("has_counter", False)),
-            counter_timeout_ms=float(family.get("counter_timeout_ms", 0.0)),
-            max_units=float(family.get("max_units", 1.0)),
-            settles=bool(family.get("trued_up", False)),
-            max_attempts=int(limits.get("try_limit", 1)),
-            can_cancel=bool(limits.get("cancelling", False)),
-            can_probe=bool(limits.get("probes", False)),
-            retry_after=bool(limits.get("retry_after", False)),
-            max_retry_after_ms=float(limits.get("max_retry_after_ms", 0.0)),
-            must_subscribe=raw.get("discovery", "automatic") == "subscribe",
-            ask_within_ms=float(rules.get("ask_every_ms", 0.0)),
-            report_fields=tuple(REPORT_FIELDS.get(name, name) for name in feedback.get("fields", ())),
-            answer_slack_ms=float(rules.get("answer_slack_ms", 0.0)),
-            cold_from=float(rules.get("cold_from", 1.0)),
-            warm_within_ms=float(rules.get("warm_within_ms", 0.0)),
-            fall_multiple=float(rules.get("fall_multiple", 1.0)),
-            fall_window_ms=float(rules.get("overload_for_ms", 0.0)),
-            sized=raw.get("weight_kind", "none") != "none",
-        )
-    except TypeError as error:
-        raise ValueError(f"settings: a value has the wrong form ({error})") from None
+    return settings_from(raw)
 
 
 def read_server(fields: Fields) -> api.Server:
