--- a/badgeryoke/core.py
+++ b/badgeryoke/core.py
@@ -36,9 +36,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Refused:
-    """Nothing that a repeat could harm has run; come back after so long."""
+    """A repeat under the same key does no harm; come back after so long."""
 
     retry_after_ms: float
+    may_have_run: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -149,7 +150,7 @@
         if run.answer is None:
             return
         if run.execution is not None:
-            run.execution.abandon(api.Verdict.TIMEOUT)
+            run.execution.abandon(api.Verdict.TIMEOUT, final=True)
         self.post(self._last_word, run)  # behind the outcome, to which the module answers
 
     def _last_word(self, run: _Running) -> None:
@@ -161,7 +162,7 @@
     def _give_up(self, run: _Running) -> None:
         """The final answer where the module gave none."""
         if run.harmless or not run.may_have_run:
-            self._finish(run, Refused(FALLBACK_RETRY_MS))
+            self._finish(run, Refused(FALLBACK_RETRY_MS, run.may_have_run))
         else:
             self._finish(run, Failed("may have run"))
         self._decide(api.Left(run.id))
@@ -187,7 +188,7 @@
                 self._send(now, action)
             case api.Refuse(id=rid, retry_after_ms=wait):
                 if (run := self._running.get(rid)) is not None:
-                    self._finish(run, Refused(wait))
+                    self._finish(run, Refused(wait, run.may_have_run))
             case api.Fail(id=rid):
                 if (run := self._running.get(rid)) is not None:
                     self._finish(run, Failed("may have run" if run.may_have_run else "not served"))
@@ -258,4 +259,4 @@
         if run.execution is None:
             self._running.pop(run.id, None)
         else:  # its end is still to be told to the module
-            run.execution.abandon(api.Verdict.CANCELLED)
+            run.execution.abandon(api.Verdict.CANCELLED, final=True)
--- /dev/null
+++ b/badgeryoke/diameter/codec.py
@@ -0,0 +1,306 @@
+"""Diameter messages (RFC 6733) and credit control's AVPs (RFC 8506): read piece by piece, written whole.
+
+A fault in a message is a value that carries the Result-Code and the AVP it is about.
+"""
+
+from __future__ import annotations
+
+import ipaddress
+import struct
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import IntEnum
+
+HEADER = 20
+MAX_MESSAGE = 96 * 1024  # a value of 64 KiB and what goes with it
+MAX_AVPS = 128  # of one message, or of one group
+REQUEST, PROXIABLE, ERROR, RETRANSMIT = 0x80, 0x40, 0x20, 0x10  # command flags; T is RETRANSMIT
+VENDOR, MANDATORY = 0x80, 0x40  # AVP flags
+CREDIT_CONTROL, RELAY = 4, 0xFFFFFFFF  # applications
+NTP_EPOCH = 2_208_988_800  # Unix time 0 in Diameter's Time
+
+
+class Command(IntEnum):
+    CAPABILITIES_EXCHANGE = 257
+    CREDIT_CONTROL = 272
+    DEVICE_WATCHDOG = 280
+    DISCONNECT_PEER = 282
+
+
+class Code(IntEnum):
+    """AVP codes, under their standard names."""
+
+    USER_NAME = 1
+    EVENT_TIMESTAMP = 55
+    ACCT_MULTI_SESSION_ID = 50
+    HOST_IP_ADDRESS = 257
+    AUTH_APPLICATION_ID = 258
+    ACCT_APPLICATION_ID = 259
+    VENDOR_SPECIFIC_APPLICATION_ID = 260
+    SESSION_ID = 263
+    ORIGIN_HOST = 264
+    SUPPORTED_VENDOR_ID = 265
+    VENDOR_ID = 266
+    FIRMWARE_REVISION = 267
+    RESULT_CODE = 268
+    PRODUCT_NAME = 269
+    DISCONNECT_CAUSE = 273
+    ORIGIN_STATE_ID = 278
+    FAILED_AVP = 279
+    ERROR_MESSAGE = 281
+    ROUTE_RECORD = 282
+    DESTINATION_REALM = 283
+    PROXY_INFO = 284
+    DESTINATION_HOST = 293
+    TERMINATION_CAUSE = 295
+    ORIGIN_REALM = 296
+    EXPERIMENTAL_RESULT = 297
+    INBAND_SECURITY_ID = 299
+    CC_CORRELATION_ID = 411
+    CC_REQUEST_NUMBER = 415
+    CC_REQUEST_TYPE = 416
+    CC_SERVICE_SPECIFIC_UNITS = 417
+    CHECK_BALANCE_RESULT = 422
+    GRANTED_SERVICE_UNIT = 431
+    REQUESTED_ACTION = 436
+    REQUESTED_SERVICE_UNIT = 437
+    SERVICE_IDENTIFIER = 439
+    SERVICE_PARAMETER_INFO = 440
+    SERVICE_PARAMETER_TYPE = 441
+    SERVICE_PARAMETER_VALUE = 442
+    SUBSCRIPTION_ID = 443
+    SUBSCRIPTION_ID_DATA = 444
+    SUBSCRIPTION_ID_TYPE = 450
+    USER_EQUIPMENT_INFO = 458
+    SERVICE_CONTEXT_ID = 461
+
+
+class Result(IntEnum):
+    """Result-Codes."""
+
+    SUCCESS = 2001
+    COMMAND_UNSUPPORTED = 3001
+    UNABLE_TO_DELIVER = 3002
+    REALM_NOT_SERVED = 3003
+    TOO_BUSY = 3004
+    APPLICATION_UNSUPPORTED = 3007
+    INVALID_HDR_BITS = 3008
+    UNKNOWN_PEER = 3010
+    AVP_UNSUPPORTED = 5001
+    INVALID_AVP_VALUE = 5004
+    MISSING_AVP = 5005
+    AVP_OCCURS_TOO_MANY_TIMES = 5009
+    NO_COMMON_APPLICATION = 5010
+    UNSUPPORTED_VERSION = 5011
+    UNABLE_TO_COMPLY = 5012
+    INVALID_AVP_LENGTH = 5014
+    INVALID_MESSAGE_LENGTH = 5015
+    USER_UNKNOWN = 5030
+    RATING_FAILED = 5031
+
+
+EVENT_REQUEST = 4  # CC-Request-Type
+DIRECT_DEBITING, CHECK_BALANCE = 0, 2  # Requested-Action
+END_USER_E164, END_USER_PRIVATE = 0, 4  # Subscription-Id-Type
+REBOOTING, DO_NOT_WANT_TO_TALK_TO_YOU = 0, 2  # Disconnect-Cause
+
+
+@dataclass(frozen=True, slots=True)
+class Avp:
+    """One AVP; its data is read where it is used."""
+
+    code: int
+    data: bytes
+    flags: int = MANDATORY
+    vendor: int = 0
+
+    def encode(self) -> bytes:
+        flags = self.flags | VENDOR if self.vendor else self.flags & ~VENDOR
+        extra = struct.pack(">I", self.vendor) if self.vendor else b""
+        length = 8 + len(extra) + len(self.data)
+        return b"".join((struct.pack(">II", self.code, flags << 24 | length), extra, self.data,
+                         b"\0" * (-length % 4)))
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """What is wrong with a message: the Result-Code, and the AVP to name in Failed-AVP."""
+
+    result: int
+    text: str
+    failed: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class Message:
+    """One message, its AVPs not yet read."""
+
+    flags: int
+    command: int
+    application: int
+    hop_by_hop: int
+    end_to_end: int
+    body: bytes = b""
+
+    @property
+    def is_request(self) -> bool:
+        return bool(self.flags & REQUEST)
+
+    def encode(self) -> bytes:
+        length = HEADER + len(self.body)
+        return struct.pack(">IIIII", 1 << 24 | length, self.flags << 24 | self.command, self.application,
+                           self.hop_by_hop, self.end_to_end) + self.body
+
+    def answer(self, avps: Iterable[Avp], error: bool = False) -> Message:
+        """The answer to this request: the same ids, and the E bit for a protocol error."""
+        return Message(self.flags & PROXIABLE | (ERROR if error else 0), self.command, self.application,
+                       self.hop_by_hop, self.end_to_end, encode(avps))
+
+
+class Framer:
+    """Cuts a stream into messages."""
+
+    def __init__(self, max_message: int = MAX_MESSAGE) -> None:
+        self._buffer = bytearray()
+        self._max = max_message
+        # After this nothing can be read: the fault, and the header it is about.
+        self.fault: tuple[Fault, Message] | None = None
+
+    @property
+    def cut(self) -> bool:
+        """Whether a message has been begun."""
+        return bool(self._buffer)
+
+    def feed(self, data: bytes) -> list[Message]:
+        """The messages that data completes; stops for good at a fault."""
+        found: list[Message] = []
+        if self.fault is not None:
+            return found
+        buffer = self._buffer
+        buffer += data
+        at = 0
+        while len(buffer) - at >= HEADER:
+            first, second, application, hop, end = struct.unpack_from(">IIIII", buffer, at)
+            length = first & 0xFFFFFF
+            head = Message(second >> 24, second & 0xFFFFFF, application, hop, end)
+            if first >> 24 != 1:
+                self.fault = Fault(Result.UNSUPPORTED_VERSION, "version is not 1"), head
+            elif length < HEADER or length % 4 or length > self._max:
+                self.fault = Fault(Result.INVALID_MESSAGE_LENGTH, f"message length {length}"), head
+            if self.fault is not None:
+                buffer.clear()
+                return found
+            if len(buffer) - at < length:
+                break
+            found.append(Message(head.flags, head.command, application, hop, end,
+                                 bytes(buffer[at + HEADER:at + length])))
+            at += length
+        del buffer[:at]
+        return found
+
+
+def encode(avps: Iterable[Avp]) -> bytes:
+    return b"".join(avp.encode() for avp in avps)
+
+
+def read_avps(body: bytes) -> list[Avp] | Fault:
+    """The AVPs of a message or of a group."""
+    found: list[Avp] = []
+    at = 0
+    while at < len(body):
+        if len(body) - at < 8:
+            return Fault(Result.INVALID_AVP_LENGTH, "AVP header cut", body[at:].ljust(8, b"\0"))
+        code, word = struct.unpack_from(">II", body, at)
+        flags, length = word >> 24, word & 0xFFFFFF
+        head = 12 if flags & VENDOR else 8
+        if length < head or at + length > len(body):
+            # RFC 6733, 7.5: the offending AVP's header, its data filled up with zeroes.
+            return Fault(Result.INVALID_AVP_LENGTH, f"AVP {code} length {length}",
+                         struct.pack(">II", code, flags << 24 | head) + b"\0" * (head - 8))
+        if len(found) >= MAX_AVPS:
+            return Fault(Result.UNABLE_TO_COMPLY, "too many AVPs")
+        vendor = struct.unpack_from(">I", body, at + 8)[0] if head == 12 else 0
+        found.append(Avp(code, body[at + head:at + length], flags & ~VENDOR, vendor))
+        at += length + (-length % 4)
+    return found
+
+
+def u32(code: int, value: int, flags: int = MANDATORY) -> Avp:
+    return Avp(code, struct.pack(">I", value), flags)
+
+
+def u64(code: int, value: int) -> Avp:
+    return Avp(code, struct.pack(">Q", value))
+
+
+def text(code: int, value: str, flags: int = MANDATORY) -> Avp:
+    return Avp(code, value.encode(), flags)
+
+
+def group(code: int, avps: Iterable[Avp]) -> Avp:
+    return Avp(code, encode(avps))
+
+
+def _invalid(avp: Avp) -> Fault:
+    return Fault(Result.INVALID_AVP_VALUE, f"AVP {avp.code} has no valid value", avp.encode())
+
+
+def read_u32(avp: Avp) -> int | Fault:
+    if len(avp.data) != 4:
+        return Fault(Result.INVALID_AVP_LENGTH, f"AVP {avp.code} is not 4 bytes", avp.encode())
+    return int.from_bytes(avp.data, "big")
+
+
+def read_u64(avp: Avp) -> int | Fault:
+    if len(avp.data) != 8:
+        return Fault(Result.INVALID_AVP_LENGTH, f"AVP {avp.code} is not 8 bytes", avp.encode())
+    return int.from_bytes(avp.data, "big")
+
+
+def read_text(avp: Avp) -> str | Fault:
+    try:
+        return avp.data.decode()
+    except UnicodeDecodeError:
+        return _invalid(avp)
+
+
+def only(avps: Iterable[Avp], code: int) -> Avp | None:
+    """The first AVP of a code, none of a vendor's."""
+    return next((avp for avp in avps if avp.code == code and not avp.vendor), None)
+
+
+def address_avp(host: str) -> Avp:
+    """Host-IP-Address: the address family, then the address."""
+    ip = ipaddress.ip_address(host)
+    return Avp(Code.HOST_IP_ADDRESS, struct.pack(">H", 1 if ip.version == 4 else 2) + ip.packed)
+
+
+def units_of(avp: Avp) -> int | Fault | None:
+    """CC-Service-Specific-Units of a Requested- or Granted-Service-Unit; None where it holds none."""
+    inner = read_avps(avp.data)
+    if isinstance(inner, Fault):
+        return inner
+    found = only(inner, Code.CC_SERVICE_SPECIFIC_UNITS)
+    return None if found is None else read_u64(found)
+
+
+def units_avp(code: int, units: float) -> Avp:
+    return group(code, [u64(Code.CC_SERVICE_SPECIFIC_UNITS, max(round(units), 0))])
+
+
+def value_avp(value: bytes) -> Avp:
+    """What a query or its answer carries besides the standard AVPs."""
+    return group(Code.SERVICE_PARAMETER_INFO, [u32(Code.SERVICE_PARAMETER_TYPE, 1),
+                                               Avp(Code.SERVICE_PARAMETER_VALUE, value)])
+
+
+def value_of(avps: Iterable[Avp]) -> bytes | Fault | None:
+    """The same, read."""
+    info = only(avps, Code.SERVICE_PARAMETER_INFO)
+    if info is None:
+        return None
+    inner = read_avps(info.data)
+    if isinstance(inner, Fault):
+        return inner
+    found = only(inner, Code.SERVICE_PARAMETER_VALUE)
+    return None if found is None else found.data
--- /dev/null
+++ b/badgeryoke/diameter/server_link.py
@@ -0,0 +1,272 @@
+"""A Diameter server as a backend: one connection, requests matched by Hop-by-Hop Id (RFC 6733, RFC 8506)."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+import zlib
+from collections.abc import Callable
+
+from tornado.iostream import IOStream, StreamClosedError
+
+from badgeryoke.actor import Actor, Loop
+from badgeryoke.diameter import codec
+from badgeryoke.diameter.codec import Avp, Code, Command, Fault, Message, Result
+from badgeryoke.diameter.peer import Identity, Peer, State
+from badgeryoke.execution import Execution, Query
+
+log = logging.getLogger("badgeryoke.diameter.server")
+
+SERVICE_CONTEXT = "load@badgeryoke"
+IDLE_PART = 0.5  # of the settings' idle time a connection is kept
+MOST_OUT = 1024  # attempts of one connection
+
+
+def session_of(query: Query, realm: str) -> tuple[str, int]:
+    """Session-Id and End-to-End Id.  Of a keyed query they derive from its key alone, so that a server knows
+    the repeat that another gateway sends."""
+    mark = query.key or query.id
+    low = zlib.crc32(mark.encode())
+    return f"{realm};{len(mark)};{low};{mark}", low
+
+
+def encode(query: Query, me: Identity, safe: bool, service: int | None, hop_by_hop: int, repeat: bool) -> bytes:
+    """The CCR of an event."""
+    session, end_to_end = session_of(query, me.realm)
+    avps = [
+        codec.text(Code.SESSION_ID, session),
+        codec.text(Code.ORIGIN_HOST, me.host),
+        codec.text(Code.ORIGIN_REALM, me.realm),
+        codec.text(Code.DESTINATION_REALM, me.realm),
+        codec.u32(Code.AUTH_APPLICATION_ID, codec.CREDIT_CONTROL),
+        codec.text(Code.SERVICE_CONTEXT_ID, SERVICE_CONTEXT),
+        codec.u32(Code.CC_REQUEST_TYPE, codec.EVENT_REQUEST),
+        codec.u32(Code.CC_REQUEST_NUMBER, 0),
+        codec.u32(Code.REQUESTED_ACTION, codec.CHECK_BALANCE if safe else codec.DIRECT_DEBITING),
+        codec.group(Code.SUBSCRIPTION_ID, [
+            codec.u32(Code.SUBSCRIPTION_ID_TYPE, codec.END_USER_PRIVATE),
+            codec.text(Code.SUBSCRIPTION_ID_DATA, f"{query.customer:016x}")]),
+        codec.units_avp(Code.REQUESTED_SERVICE_UNIT, query.units),
+    ]
+    if service is not None:
+        avps.append(codec.u32(Code.SERVICE_IDENTIFIER, service))
+    if query.body is not None:
+        avps.append(codec.value_avp(query.body))
+    flags = codec.REQUEST | codec.PROXIABLE | (codec.RETRANSMIT if repeat else 0)
+    return Message(flags, Command.CREDIT_CONTROL, codec.CREDIT_CONTROL, hop_by_hop, end_to_end,
+                   codec.encode(avps)).encode()
+
+
+def settle(execution: Execution, avps: list[Avp] | Fault) -> str | None:
+    """End an attempt by its CCA; the result says what was malformed.
+
+    A server that is too busy never began, so the query may go elsewhere; any other failure may have run.
+    """
+    if isinstance(avps, Fault):
+        execution.error("malformed answer")
+        return avps.text
+    code = codec.only(avps, Code.RESULT_CODE)
+    result = None if code is None else codec.read_u32(code)
+    if result is None or isinstance(result, Fault):
+        execution.error("malformed answer")
+        return "answer without a Result-Code"
+    if result == Result.TOO_BUSY:
+        execution.turned_away("DIAMETER_TOO_BUSY")
+    elif 2000 <= result < 3000:
+        value = codec.value_of(avps)
+        granted = codec.only(avps, Code.GRANTED_SERVICE_UNIT)
+        units = None if granted is None else codec.units_of(granted)
+        if isinstance(value, Fault) or isinstance(units, Fault):
+            execution.served(b"", 0.0)
+            return "answer with unreadable units or value"
+        execution.served(value or b"", float(units or 0))
+    else:
+        execution.error(f"Result-Code {result}")
+    return None
+
+
+class _Connection(Peer):
+    """The connection, and the attempts that are out on it."""
+
+    def __init__(self, stream: IOStream, owner: DiameterServerLink, loop: Loop, watchdog_s: float) -> None:
+        super().__init__(stream, owner.me, loop, watchdog_s)
+        self._owner = owner
+        self.out: dict[int, Execution] = {}
+        self._unwritten: list[Execution] = []  # gathered in this turn
+        self.used_at = loop.time()
+
+    def opened(self) -> None:
+        self._owner.post(self._owner.opened, self)
+
+    def gone(self) -> None:
+        """What was written may have run; execution.lost() tells which was."""
+        out, self.out = self.out, {}
+        for execution in out.values():
+            execution.on_abandon = None
+            execution.lost(str(self.stream.error or "connection ended"))
+        self._owner.post(self._owner.closed, self)
+
+    def write(self, execution: Execution) -> None:
+        now = self._owner.clock()
+        if self.state is not State.OPEN or self.stream.closed():
+            execution.lost("connection ended")
+            return
+        if not execution.may_be_written(now):
+            execution.moot("too late to be sent")
+            return
+        if len(self.out) >= MOST_OUT:
+            execution.moot("too many attempts out")
+            return
+        query, owner = execution.query, self._owner
+        number = self.next_id()
+        repeat = execution.repeat or (query.retry and bool(query.key))
+        self.out[number] = execution
+        execution.on_abandon = lambda: self.post(self._abandoned, number, execution)
+        self._out.append(encode(query, self.me, query.cls in owner.safe, owner.services.get(query.plan), number,
+                                repeat))
+        self._unwritten.append(execution)
+
+    def turn_ended(self) -> None:
+        batch, self._unwritten = self._unwritten, []
+        super().turn_ended()
+        if not batch or self.stream.closed():
+            return
+        if not self.stream.writing():
+            for execution in batch:
+                execution.written()
+        else:
+            self._loop.call_later(0.0, self.post, self._look, batch)
+
+    def _look(self, batch: list[Execution]) -> None:
+        """Written whole once nothing waits in the stream; a break before that proves that none ran."""
+        if self.stream.closed():
+            return
+        if self.stream.writing():
+            self._loop.call_later(0.001, self.post, self._look, batch)
+            return
+        for execution in batch:
+            execution.written()
+
+    def _abandoned(self, number: int, execution: Execution) -> None:
+        """Credit control has no way to take a request back.  Where the query has its final answer, a late CCA
+        is ignored; where another attempt may follow, only closing the connection ends this one."""
+        if self.out.get(number) is not execution:
+            return
+        del self.out[number]
+        if not execution.final:
+            self.stream.close()
+
+    def credit_control(self, message: Message, avps: list[Avp] | Fault) -> None:
+        if message.is_request:
+            self.reply_fault(message, Fault(Result.UNABLE_TO_COMPLY, "this side serves no credit control"))
+            return
+        execution = self.out.pop(message.hop_by_hop, None)
+        self.used_at = self._loop.time()
+        if execution is None:
+            return  # the answer to an attempt that was abandoned
+        execution.on_abandon = None
+        if fault := settle(execution, avps):
+            self._owner.complain(fault)
+
+
+class DiameterServerLink(Actor):
+    """One Diameter server: connected when first needed, and again when needed after a loss."""
+
+    def __init__(self, address: tuple[str, int], loop: Loop, clock: Callable[[], float], *, me: Identity,
+                 safe: frozenset[str], services: dict[str, int], connect_ms: float, idle_ms: float,
+                 watchdog_s: float) -> None:
+        super().__init__(loop)
+        self.address, self.clock, self.me = address, clock, me
+        self.safe, self.services = safe, services
+        self._connect_ms, self._idle_s, self._watchdog_s = connect_ms, idle_ms * IDLE_PART / 1000.0, watchdog_s
+        self._connection: _Connection | None = None
+        self._waiting: list[Execution] = []
+        self._draining = False
+        self._complained = False
+
+    @property
+    def connections(self) -> int:
+        return int(self._connection is not None)
+
+    def start(self, execution: Execution) -> None:
+        self.post(self._start, execution)
+
+    def _start(self, execution: Execution) -> None:
+        if self._draining:
+            execution.lost("server is gone")
+        elif self._connection is not None and self._connection.state is State.OPEN:
+            self._connection.post(self._connection.write, execution)
+        elif len(self._waiting) >= MOST_OUT:
+            execution.moot("too many attempts wait for the connection")
+        else:
+            self._waiting.append(execution)
+            self._loop.call_later(self._connect_ms / 1000.0, self.post, self._unmet, execution)
+            if self._connection is None:
+                self._connect()
+
+    def _connect(self) -> None:
+        sock = socket.socket(socket.AF_INET6 if ":" in self.address[0] else socket.AF_INET, socket.SOCK_STREAM)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        stream = IOStream(sock, max_buffer_size=4 * codec.MAX_MESSAGE)
+        connection = self._connection = _Connection(stream, self, self._loop, self._watchdog_s)
+        self._task = asyncio.ensure_future(self._live(connection))
+
+    async def _live(self, connection: _Connection) -> None:
+        try:
+            await connection.stream.connect(self.address)
+        except (StreamClosedError, OSError):
+            connection.stream.close()
+            return
+        connection.post(connection.request, Command.CAPABILITIES_EXCHANGE, connection.capabilities())
+        await connection.read()
+
+    def opened(self, connection: _Connection) -> None:
+        waiting, self._waiting = self._waiting, []
+        for execution in waiting:
+            if not execution.ended:
+                connection.post(connection.write, execution)
+
+    def closed(self, connection: _Connection) -> None:
+        if connection is not self._connection:
+            return
+        self._connection = None
+        if connection.host and self._waiting and not self._draining:
+            self._connect()  # it had been open, and was closed while these came
+            return
+        waiting, self._waiting = self._waiting, []
+        for execution in waiting:
+            execution.lost(str(connection.stream.error or "no connection"))
+
+    def _unmet(self, execution: Execution) -> None:
+        if execution in self._waiting:
+            self._waiting.remove(execution)
+            execution.lost("no connection in time")
+
+    def complain(self, words: str) -> None:
+        """Log a server's fault once."""
+        if not self._complained:
+            self._complained = True
+            log.warning("server %s:%d %s", *self.address, words)
+
+    def sweep(self) -> None:
+        """Part from a server that has not been needed for long; called now and then."""
+        connection = self._connection
+        if (connection is not None and connection.state is State.OPEN and not connection.out
+                and self._loop.time() - connection.used_at > self._idle_s):
+            connection.post(connection.disconnect, codec.DO_NOT_WANT_TO_TALK_TO_YOU)
+
+    def drain(self) -> None:
+        self.post(self._drain_now)
+
+    def _drain_now(self) -> None:
+        self._draining = True
+        waiting, self._waiting = self._waiting, []
+        for execution in waiting:
+            execution.lost("server is draining")
+
+    def reopen(self) -> None:
+        self.post(self._reopen)
+
+    def _reopen(self) -> None:
+        self._draining = False
--- a/badgeryoke/execution.py
+++ b/badgeryoke/execution.py
@@ -59,7 +59,7 @@
 class Execution:
     """One attempt.  Its first end counts, and every later one is ignored."""
 
-    __slots__ = ("_on_end", "attempt", "deadline_ms", "on_abandon", "query", "repeat", "server", "stage",
+    __slots__ = ("_on_end", "attempt", "deadline_ms", "final", "on_abandon", "query", "repeat", "server", "stage",
                  "started_ms")
 
     def __init__(self, query: Query, attempt: int, server: int, started_ms: float, deadline_ms: float,
@@ -67,6 +67,7 @@
         self.query, self.attempt, self.server = query, attempt, server
         self.started_ms, self.deadline_ms = started_ms, deadline_ms
         self.repeat = repeat  # an earlier attempt may have run
+        self.final = False  # no attempt will follow this one
         self.stage = Stage.NOT_WRITTEN
         self.on_abandon: Callable[[], None] | None = None  # set by the server link: ends the attempt there
         self._on_end = on_end
@@ -104,8 +105,9 @@
         """It was not sent, and will not be."""
         self._end(Verdict.MOOT, detail=detail)
 
-    def abandon(self, verdict: Verdict) -> None:
+    def abandon(self, verdict: Verdict, final: bool = False) -> None:
         """Stop waiting: cancelled or timed out.  What was never written whole could not connect."""
+        self.final = final
         unwritten = self.stage is Stage.NOT_WRITTEN
         self._end(Verdict.CONNECT_FAILED if unwritten else verdict, detail="given up")
 
--- a/badgeryoke/gateway.py
+++ b/badgeryoke/gateway.py
@@ -15,7 +15,9 @@
 from badgeryoke.config import Config
 from badgeryoke.core import Core
 from badgeryoke.counter import CounterLink
-from badgeryoke.execution import ServerLink
+from badgeryoke.diameter.client_link import DiameterFront
+from badgeryoke.diameter.peer import Identity
+from badgeryoke.diameter.server_link import DiameterServerLink
 from badgeryoke.host_group import Host, HostGroup
 from badgeryoke.resp.client_link import ClientLink
 from badgeryoke.resp.server_link import RespServerLink
@@ -23,7 +25,7 @@
 
 log = logging.getLogger("badgeryoke")
 
-CLIENT_PART, SERVER_PART = 0.5, 0.3  # of the descriptors, for clients and for servers
+CLIENT_PART, SERVER_PART, DIAMETER_PART = 0.5, 0.3, 0.1  # of the descriptors, for each kind of link
 LEAST_POOL = 4
 SWEEP_S = 1.0
 CLIENT_BUFFER = 512 * 1024  # bound of what is read of a client and not yet taken
@@ -75,13 +77,21 @@
         self._config = config
         self._loop = loop = asyncio.get_running_loop()
         self._clock = WallClock(time.monotonic, time.time)
-        self._links: dict[int, tuple[tuple[str, int], RespServerLink]] = {}
+        self._links: dict[int, tuple[Host, RespServerLink | DiameterServerLink]] = {}
         self._counter = (CounterLink(config.counter, config.settings.counter_timeout_ms, loop, self._clock)
                          if config.counter is not None else None)
         self.core = Core(config.settings, config.seed, loop, self._clock, self._link,
                          self._counter or NoCounter(loop))
         self._hosts = HostGroup(config.discovery, config.known, loop, self._changed)
         self._front = RespFront(self.core, loop, int(config.sockets * CLIENT_PART), self._hosts)
+        self._diameter: DiameterFront | None = None
+        if (second := config.diameter) is not None:
+            address = second.listen[0] if second.listen is not None else "127.0.0.1"
+            self._me = Identity(second.origin_host, second.origin_realm, address, int(time.time()))
+            self._services = {plan: number for number, plan in second.plans.items()}
+            if second.listen is not None:
+                self._diameter = DiameterFront(second, config.settings, self._me, self.core, loop, self._clock,
+                                               int(config.sockets * DIAMETER_PART))
         self._done = asyncio.Event()
         self._ending = False
 
@@ -91,7 +101,14 @@
             self._counter.open()
         self._hosts.start()
         host, port = self._config.listen
-        self._front.add_sockets(bind_sockets(port, host, backlog=512))
+        sockets = bind_sockets(port, host, backlog=512)
+        self.address = sockets[0].getsockname()  # as bound, where port 0 was asked for
+        self._front.add_sockets(sockets)
+        if self._diameter is not None and (second := self._config.diameter) and second.listen is not None:
+            sockets = bind_sockets(second.listen[1], second.listen[0], backlog=128)
+            self.diameter_address = sockets[0].getsockname()
+            self._diameter.add_sockets(sockets)
+            log.info("Diameter front listens on %s:%d", *second.listen)
         self._loop.call_later(SWEEP_S, self._sweep)
         log.info("gateway %s listens on %s:%d", self._config.name, host, port)
 
@@ -102,24 +119,21 @@
         self.start()
         await self._done.wait()
 
-    def _link(self, server: int) -> ServerLink | None:
+    def _link(self, server: int) -> RespServerLink | DiameterServerLink | None:
         found = self._links.get(server)
         return None if found is None else found[1]
 
     def _changed(self, members: Members, hosts: dict[int, Host]) -> None:
         """Bring the server links in line with the list before the module hears of it."""
         most = max(int(self._config.sockets * SERVER_PART) // max(len(hosts), 1), LEAST_POOL)
-        for number, (address, link) in list(self._links.items()):
-            host = hosts.get(number)
-            if host is None or host.address != address:
+        for number, (old, link) in list(self._links.items()):
+            found = hosts.get(number)
+            if found is None or (found.address, found.kind) != (old.address, old.kind):
                 link.drain()
                 del self._links[number]
         for number, host in hosts.items():
             if number not in self._links:
-                self._links[number] = host.address, RespServerLink(
-                    host.address, self._loop, self._clock, safe=self._config.safe,
-                    report_names=self._config.report_names, connect_ms=self._config.connect_ms,
-                    idle_ms=self._config.idle_ms, most=most)
+                self._links[number] = host, self._open_link(host, most)
             link = self._links[number][1]
             if host.state is State.UP:
                 link.reopen()
@@ -127,6 +141,16 @@
                 link.drain()
         self.core.members(members)
 
+    def _open_link(self, host: Host, most: int) -> RespServerLink | DiameterServerLink:
+        config, second = self._config, self._config.diameter
+        if second is not None and host.kind in second.server_kinds:
+            return DiameterServerLink(
+                host.address, self._loop, self._clock, me=self._me, safe=config.safe, services=self._services,
+                connect_ms=config.connect_ms, idle_ms=config.idle_ms, watchdog_s=second.watchdog_s)
+        return RespServerLink(
+            host.address, self._loop, self._clock, safe=config.safe, report_names=config.report_names,
+            connect_ms=config.connect_ms, idle_ms=config.idle_ms, most=most)
+
     def _sweep(self) -> None:
         for _, link in self._links.values():
             link.sweep()
@@ -145,11 +169,15 @@
         self._front.stop()
         for link in list(self._front.links):
             link.end()
+        if self._diameter is not None:
+            self._diameter.stop()
+            for peer in list(self._diameter.links):
+                peer.end()
         self._loop.call_later(DRAIN_MOST_S - self._config.drain_s, self._done.set)
         self._await_end()
 
     def _await_end(self) -> None:
-        if self._front.links:
+        if self._front.links or (self._diameter is not None and self._diameter.links):
             self._loop.call_later(0.02, self._await_end)
             return
         log.info("ended: all answered")
