--- a/badgeryoke/actor.py
+++ b/badgeryoke/actor.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import socket
 from collections import deque
 from collections.abc import Callable
 from typing import Any, Protocol
@@ -59,6 +60,13 @@
         """Called once after each turn: the place to write what the turn has gathered."""
 
 
+def new_socket(address: tuple[str, int]) -> socket.socket:
+    """A TCP socket for an address, that sends small messages at once."""
+    made = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return made
+
+
 async def pump(stream: IOStream, take: Callable[[bytes], None]) -> None:
     """Hand over what a connection brings, piece by piece, until it ends: the one coroutine that it costs."""
     try:
--- a/badgeryoke/counter.py
+++ b/badgeryoke/counter.py
@@ -5,13 +5,12 @@
 import asyncio
 import logging
 import math
-import socket
 from collections import deque
 from collections.abc import Callable
 
 from tornado.iostream import IOStream, StreamClosedError
 
-from badgeryoke.actor import Actor, Loop, pump
+from badgeryoke.actor import Actor, Loop, new_socket, pump
 from badgeryoke.resp.parser import ErrorReply, Parser, ProtocolError, Value, command
 from martenstep.interface import Total, Verdict
 
@@ -151,9 +150,7 @@
     def _connect(self) -> None:
         if self._closing or self._stream is not None:
             return
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        stream = self._stream = IOStream(sock, max_buffer_size=256 * 1024)
+        stream = self._stream = IOStream(new_socket(self._address), max_buffer_size=256 * 1024)
         self._up, self._parser = False, Parser()
         stream.set_close_callback(lambda: self.post(self._closed, stream))
         self._task = asyncio.ensure_future(self._live(stream))
--- a/badgeryoke/diameter/client_link.py
+++ b/badgeryoke/diameter/client_link.py
@@ -161,7 +161,7 @@
     def _ask(self, request: Request, repeated: bool, give: Callable[[Answer | Fault], None]) -> None:
         found = self._repeats.find(request.identity)
         if found is Repeats.MIXED:
-            give(Fault(Result.UNABLE_TO_COMPLY, "the identifiers are of different requests: nothing was sent"))
+            give(Fault(Result.UNABLE_TO_COMPLY, "identifiers of two requests: nothing was sent"))
         elif isinstance(found, Entry):
             if found.answer is not None:
                 give(found.answer)
--- a/badgeryoke/diameter/server_link.py
+++ b/badgeryoke/diameter/server_link.py
@@ -4,13 +4,12 @@
 
 import asyncio
 import logging
-import socket
 import zlib
 from collections.abc import Callable
 
 from tornado.iostream import IOStream, StreamClosedError
 
-from badgeryoke.actor import Actor, Loop
+from badgeryoke.actor import Actor, Loop, new_socket
 from badgeryoke.diameter import codec
 from badgeryoke.diameter.codec import Avp, Code, Command, Fault, Message, Result
 from badgeryoke.diameter.peer import Identity, Peer, State
@@ -31,7 +30,8 @@
     return f"{realm};{len(mark)};{low};{mark}", low
 
 
-def encode(query: Query, me: Identity, safe: bool, service: int | None, hop_by_hop: int, repeat: bool) -> bytes:
+def encode(query: Query, me: Identity, safe: bool, service: int | None, hop_by_hop: int,
+           repeat: bool) -> bytes:
     """The CCR of an event."""
     session, end_to_end = session_of(query, me.realm)
     avps = [
@@ -123,8 +123,8 @@
         repeat = execution.repeat or (query.retry and bool(query.key))
         self.out[number] = execution
         execution.on_abandon = lambda: self.post(self._abandoned, number, execution)
-        self._out.append(encode(query, self.me, query.cls in owner.safe, owner.services.get(query.plan), number,
-                                repeat))
+        service = owner.services.get(query.plan)
+        self._out.append(encode(query, self.me, query.cls in owner.safe, service, number, repeat))
         self._unwritten.append(execution)
 
     def turn_ended(self) -> None:
@@ -179,7 +179,8 @@
         super().__init__(loop)
         self.address, self.clock, self.me = address, clock, me
         self.safe, self.services = safe, services
-        self._connect_ms, self._idle_s, self._watchdog_s = connect_ms, idle_ms * IDLE_PART / 1000.0, watchdog_s
+        self._connect_ms, self._watchdog_s = connect_ms, watchdog_s
+        self._idle_s = idle_ms * IDLE_PART / 1000.0
         self._connection: _Connection | None = None
         self._waiting: list[Execution] = []
         self._draining = False
@@ -206,9 +207,7 @@
                 self._connect()
 
     def _connect(self) -> None:
-        sock = socket.socket(socket.AF_INET6 if ":" in self.address[0] else socket.AF_INET, socket.SOCK_STREAM)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        stream = IOStream(sock, max_buffer_size=4 * codec.MAX_MESSAGE)
+        stream = IOStream(new_socket(self.address), max_buffer_size=4 * codec.MAX_MESSAGE)
         connection = self._connection = _Connection(stream, self, self._loop, self._watchdog_s)
         self._task = asyncio.ensure_future(self._live(connection))
 
--- a/badgeryoke/execution.py
+++ b/badgeryoke/execution.py
@@ -59,8 +59,8 @@
 class Execution:
     """One attempt.  Its first end counts, and every later one is ignored."""
 
-    __slots__ = ("_on_end", "attempt", "deadline_ms", "final", "on_abandon", "query", "repeat", "server", "stage",
-                 "started_ms")
+    __slots__ = ("_on_end", "attempt", "deadline_ms", "final", "on_abandon", "query", "repeat", "server",
+                 "stage", "started_ms")
 
     def __init__(self, query: Query, attempt: int, server: int, started_ms: float, deadline_ms: float,
                  on_end: Callable[[Execution, End], None], repeat: bool = False) -> None:
--- a/badgeryoke/gateway.py
+++ b/badgeryoke/gateway.py
@@ -90,8 +90,8 @@
             self._me = Identity(second.origin_host, second.origin_realm, address, int(time.time()))
             self._services = {plan: number for number, plan in second.plans.items()}
             if second.listen is not None:
-                self._diameter = DiameterFront(second, config.settings, self._me, self.core, loop, self._clock,
-                                               int(config.sockets * DIAMETER_PART))
+                self._diameter = DiameterFront(second, config.settings, self._me, self.core, loop,
+                                               self._clock, int(config.sockets * DIAMETER_PART))
         self._done = asyncio.Event()
         self._ending = False
 
--- a/badgeryoke/host_group.py
+++ b/badgeryoke/host_group.py
@@ -5,7 +5,6 @@
 import asyncio
 import logging
 import math
-import socket
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -13,7 +12,7 @@
 import ujson
 from tornado.iostream import IOStream, StreamClosedError
 
-from badgeryoke.actor import READ_CHUNK, Actor, Loop
+from badgeryoke.actor import READ_CHUNK, Actor, Loop, new_socket
 from martenstep.interface import Members, Scope, Server, State
 
 log = logging.getLogger("badgeryoke.host_group")
@@ -214,9 +213,7 @@
 
     async def _converse(self) -> None:
         """One connection's calls; returns where the other side wants a new one."""
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        stream = self._stream = IOStream(sock, max_buffer_size=MAX_BODY + MAX_HEAD)
+        stream = self._stream = IOStream(new_socket(self._address), max_buffer_size=MAX_BODY + MAX_HEAD)
         await asyncio.wait_for(stream.connect(self._address), SILENT_S)
         keep = True
         while keep and not self._stopped:
--- a/badgeryoke/resp/server_link.py
+++ b/badgeryoke/resp/server_link.py
@@ -9,13 +9,12 @@
 import asyncio
 import logging
 import math
-import socket
 from collections import deque
 from collections.abc import Callable
 
 from tornado.iostream import IOStream, StreamClosedError
 
-from badgeryoke.actor import Actor, Loop, pump
+from badgeryoke.actor import Actor, Loop, new_socket, pump
 from badgeryoke.execution import Execution, Query
 from badgeryoke.resp.parser import ErrorReply, Parser, ProtocolError, Value, command, pairs
 
@@ -84,9 +83,7 @@
         self.used_at = 0.0
         self.up = False
         self.parser = Parser(max_items=8)
-        sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.stream = IOStream(sock, max_buffer_size=256 * 1024)
+        self.stream = IOStream(new_socket(address), max_buffer_size=256 * 1024)
         self.stream.set_close_callback(lambda: owner.post(owner.closed, self))
         self._task = asyncio.ensure_future(self._live(address))
 
