--- a/badgeryoke/counter.py
+++ b/badgeryoke/counter.py
@@ -150,7 +150,13 @@
     def _connect(self) -> None:
         if self._closing or self._stream is not None:
             return
-        stream = self._stream = IOStream(new_socket(self._address), max_buffer_size=256 * 1024)
+        try:
+            sock = new_socket(self._address)
+        except OSError as fault:  # no descriptor is free: a later try may find one
+            self._fault(f"no socket: {fault}")
+            self._loop.call_later(BACK_OFF_S[1], self.post, self._connect)
+            return
+        stream = self._stream = IOStream(sock, max_buffer_size=256 * 1024)
         self._up, self._parser = False, Parser()
         stream.set_close_callback(lambda: self.post(self._closed, stream))
         self._task = asyncio.ensure_future(self._live(stream))
--- a/badgeryoke/diameter/server_link.py
+++ b/badgeryoke/diameter/server_link.py
@@ -207,7 +207,15 @@
                 self._connect()
 
     def _connect(self) -> None:
-        stream = IOStream(new_socket(self.address), max_buffer_size=4 * codec.MAX_MESSAGE)
+        try:
+            sock = new_socket(self.address)
+        except OSError as fault:
+            self.complain(f"no socket: {fault}")
+            waiting, self._waiting = self._waiting, []
+            for execution in waiting:
+                execution.lost(f"no socket: {fault}")
+            return
+        stream = IOStream(sock, max_buffer_size=4 * codec.MAX_MESSAGE)
         connection = self._connection = _Connection(stream, self, self._loop, self._watchdog_s)
         self._task = asyncio.ensure_future(self._live(connection))
 
--- a/badgeryoke/gateway.py
+++ b/badgeryoke/gateway.py
@@ -6,6 +6,7 @@
 import logging
 import signal
 import time
+from collections.abc import Callable
 
 from tornado.iostream import IOStream
 from tornado.netutil import bind_sockets
@@ -39,8 +40,8 @@
     def __init__(self, loop: Loop) -> None:
         self._loop = loop
 
-    def add(self, name: int, units: float, life_ms: float, done: object) -> None:
-        self._loop.call_soon(done, Total(name, Verdict.CONNECT_FAILED, 0.0))  # type: ignore[arg-type]
+    def add(self, name: int, units: float, life_ms: float, done: Callable[[Total], None]) -> None:
+        self._loop.call_soon(done, Total(name, Verdict.CONNECT_FAILED, 0.0))
 
 
 class RespFront(TCPServer):
@@ -73,10 +74,10 @@
 class App:
     """One gateway."""
 
-    def __init__(self, config: Config) -> None:
+    def __init__(self, config: Config, clock: Callable[[], float] | None = None) -> None:
         self._config = config
         self._loop = loop = asyncio.get_running_loop()
-        self._clock = WallClock(time.monotonic, time.time)
+        self._clock = clock or WallClock(time.monotonic, time.time)
         self._links: dict[int, tuple[Host, RespServerLink | DiameterServerLink]] = {}
         self._counter = (CounterLink(config.counter, config.settings.counter_timeout_ms, loop, self._clock)
                          if config.counter is not None else None)
@@ -92,7 +93,7 @@
             if second.listen is not None:
                 self._diameter = DiameterFront(second, config.settings, self._me, self.core, loop,
                                                self._clock, int(config.sockets * DIAMETER_PART))
-        self._done = asyncio.Event()
+        self.done = asyncio.Event()  # everything taken has its answer
         self._ending = False
 
     def start(self) -> None:
@@ -117,7 +118,7 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             self._loop.add_signal_handler(number, self.end)
         self.start()
-        await self._done.wait()
+        await self.done.wait()
 
     def _link(self, server: int) -> RespServerLink | DiameterServerLink | None:
         found = self._links.get(server)
@@ -173,7 +174,7 @@
             self._diameter.stop()
             for peer in list(self._diameter.links):
                 peer.end()
-        self._loop.call_later(DRAIN_MOST_S - self._config.drain_s, self._done.set)
+        self._loop.call_later(DRAIN_MOST_S - self._config.drain_s, self.done.set)
         self._await_end()
 
     def _await_end(self) -> None:
@@ -184,4 +185,4 @@
         self._hosts.stop()
         if self._counter is not None:
             self._counter.close()
-        self._loop.call_later(0.02, self._done.set)
+        self._loop.call_later(0.02, self.done.set)
--- /dev/null
+++ b/tests/test_core.py
@@ -0,0 +1,231 @@
+"""The core under a clock that is moved by hand: one final answer for each query, whatever happens."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from badgeryoke.actor import Actor, WallClock
+from badgeryoke.core import Answer, Core, Failed, Refused, Served
+from badgeryoke.execution import Execution, Query, Stage
+from martenstep import interface as api
+from martenstep.decide import Gateway
+from tests.standins import NOW_MS, settings
+
+AIM = api.RequestClass("balance-check", 400.0, 2000.0, api.Effect.SAFE)
+KEYED = api.RequestClass("load-send", 750.0, 2000.0, api.Effect.KEYED, api.Group.ALL, 1000.0)
+UNSAFE = api.RequestClass("once", 750.0, 2000.0, api.Effect.UNSAFE)
+
+
+class Handle:
+    def __init__(self) -> None:
+        self.cancelled = False
+
+    def cancel(self) -> None:
+        self.cancelled = True
+
+
+class FakeLoop:
+    """A loop whose time passes only in run()."""
+
+    def __init__(self) -> None:
+        self._now, self._count = 0.0, 0
+        self._due: list[tuple[float, int, Handle, Callable[..., object], tuple[Any, ...]]] = []
+
+    def time(self) -> float:
+        return self._now
+
+    def clock(self) -> float:
+        return NOW_MS + self._now * 1000.0
+
+    def call_soon(self, callback: Callable[..., object], *args: Any) -> Any:
+        return self.call_later(0.0, callback, *args)
+
+    def call_later(self, delay: float, callback: Callable[..., object], *args: Any) -> Any:
+        handle = Handle()
+        self._count += 1
+        heapq.heappush(self._due, (self._now + delay, self._count, handle, callback, args))
+        return handle
+
+    def run(self, seconds: float = 0.0) -> None:
+        until = self._now + seconds
+        while self._due and self._due[0][0] <= until:
+            at, _, handle, callback, args = heapq.heappop(self._due)
+            self._now = max(at, self._now)
+            if not handle.cancelled:
+                callback(*args)
+        self._now = until
+
+
+class Link:
+    """A server link that keeps what it was given."""
+
+    def __init__(self) -> None:
+        self.executions: list[Execution] = []
+
+    def start(self, execution: Execution) -> None:
+        self.executions.append(execution)
+
+
+class NoCounter:
+    def add(self, *_: object) -> None:
+        raise AssertionError("no counter here")
+
+
+class Bench:
+    """A core with one server and no counter."""
+
+    def __init__(self, **changes: Any) -> None:
+        self.loop, self.link = FakeLoop(), Link()
+        made = settings(has_counter=False, classes=(AIM, KEYED, UNSAFE), **changes)
+        self.core = Core(made, 1, self.loop, self.loop.clock, lambda _: self.link, NoCounter())
+        self.core.members(api.Members(api.Scope.FULL, (api.Server(1, "a", "std", 0, api.State.UP),)))
+        self.answers: list[Answer] = []
+
+    def ask(self, cls: str = "balance-check", d: float = 2000.0, **more: Any) -> Callable[[], None]:
+        left = self.core.submit(Query("r", cls, "free", 5, d, 1.0, 1, **more), self.answers.append)
+        self.loop.run()
+        return left
+
+    @property
+    def last(self) -> Execution:
+        return self.link.executions[-1]
+
+
+def test_a_served_attempt_is_the_answer() -> None:
+    bench = Bench()
+    bench.ask()
+    bench.last.written()
+    bench.last.served(b"value", 3.0)
+    bench.last.served(b"again")
+    bench.loop.run(3.0)
+    assert bench.answers == [Served(b"value", 3.0)] and not bench.core.unanswered
+
+
+@pytest.mark.parametrize(("cls", "written", "kind"), [
+    pytest.param("balance-check", True, Refused, id="safe"),
+    pytest.param("load-send", True, Refused, id="keyed at all servers"),
+    pytest.param("once", True, Failed, id="unsafe, written whole"),
+    pytest.param("once", False, Refused, id="unsafe, never written whole"),
+])
+def test_the_deadline_is_kept_though_the_server_is_silent(cls: str, written: bool, kind: type) -> None:
+    bench = Bench(can_cancel=False)
+    bench.ask(cls)
+    if written:
+        bench.last.written()
+    bench.loop.run(1.99)  # before the client gives up at 2 s
+    assert [type(answer) for answer in bench.answers] == [kind]
+    assert bench.last.ended and not bench.core.unanswered
+
+
+@pytest.mark.parametrize("event", [api.Request, api.Outcome, api.Left])
+def test_a_module_fault_costs_no_query_its_answer(event: type, monkeypatch: pytest.MonkeyPatch) -> None:
+    real = Gateway.handle
+
+    def faulty(self: Gateway, now: float, got: api.Event) -> list[api.Action]:
+        if isinstance(got, event):
+            raise ValueError("a fault")
+        return real(self, now, got)
+
+    monkeypatch.setattr(Gateway, "handle", faulty)
+    bench = Bench()
+    bench.ask()
+    if bench.link.executions:
+        bench.last.written()
+        bench.last.error("ERR failed")
+    bench.loop.run(3.0)
+    assert len(bench.answers) == 1 and (bench.core.faults > 0 or event is api.Left)
+
+
+def test_a_module_that_decides_nothing_is_answered_for(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Gateway, "handle", lambda *_: [])
+    bench = Bench()
+    bench.ask()
+    bench.loop.run(1.99)
+    assert [type(answer) for answer in bench.answers] == [Refused]
+
+
+def test_one_attempt_at_a_time_and_none_after_the_answer(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Gateway, "handle", lambda self, now, got: (
+        [api.Send(got.id, 1, 500.0), api.Send(got.id, 1, 500.0)] if isinstance(got, api.Request) else []))
+    bench = Bench()
+    bench.ask()
+    assert len(bench.link.executions) == 1
+    monkeypatch.setattr(Gateway, "handle", lambda self, now, got: (
+        [api.Refuse(got.id), api.Send(got.id, 1, 500.0)] if isinstance(got, api.Request) else []))
+    bench.ask()
+    assert len(bench.link.executions) == 1 and len(bench.answers) == 1
+
+
+def test_a_client_that_left_is_owed_nothing_and_its_attempt_is_given_up() -> None:
+    bench = Bench()
+    left = bench.ask()
+    bench.last.written()
+    released: list[bool] = []
+    bench.last.on_abandon = lambda: released.append(True)
+    left()
+    bench.loop.run(3.0)
+    assert bench.answers == [] and released == [True] and bench.last.final
+
+
+def test_a_refusal_after_an_attempt_that_may_have_run_says_so() -> None:
+    bench = Bench(max_attempts=1)
+    bench.ask("load-send", key="k")
+    bench.last.written()
+    bench.last.lost("reset")
+    bench.loop.run()
+    assert isinstance(bench.answers[0], Refused) and bench.answers[0].may_have_run
+
+
+def test_a_repeat_is_not_sent_after_its_window() -> None:
+    bench = Bench()
+    bench.ask("load-send", key="k", send_by_ms=NOW_MS)
+    assert not bench.link.executions and len(bench.answers) == 1
+
+
+def test_the_last_word_on_a_full_core() -> None:
+    bench = Bench()
+    bench.core._running.update({str(-n): None for n in range(1, 10_001)})  # type: ignore[misc]
+    bench.ask()
+    assert isinstance(bench.answers[0], Refused) and not bench.link.executions
+
+
+@pytest.mark.parametrize(("stage", "method", "verdict"), [
+    (Stage.NOT_WRITTEN, "lost", api.Verdict.CONNECT_FAILED),
+    (Stage.WRITTEN, "lost", api.Verdict.RESET),
+    (Stage.NOT_WRITTEN, "turned_away", api.Verdict.FULL),
+    (Stage.WRITTEN, "error", api.Verdict.ERROR),
+    (Stage.WRITTEN, "abandon", api.Verdict.TIMEOUT),
+    (Stage.NOT_WRITTEN, "abandon", api.Verdict.CONNECT_FAILED),
+])
+def test_an_end_carries_how_far_the_attempt_had_come(stage: Stage, method: str, verdict: api.Verdict) -> None:
+    ends: list[Any] = []
+    one = Execution(Query("r", "c", "p", 1, 1.0, 1.0, 1), 0, 1, 0.0, 1.0, lambda _, end: ends.append(end))
+    if stage is Stage.WRITTEN:
+        one.written()
+    getattr(one, method)(api.Verdict.TIMEOUT if method == "abandon" else "why")
+    one.lost("a second end does not count")
+    assert [(end.verdict, end.reached) for end in ends] == [(verdict, stage)]
+
+
+def test_a_message_that_fails_costs_none_behind_it() -> None:
+    loop = FakeLoop()
+    done: list[int] = []
+    actor = Actor(loop)
+    actor.post(done.remove, 7)
+    actor.post(done.append, 1)
+    loop.run()
+    assert done == [1]
+
+
+def test_the_clock_follows_the_system_and_never_runs_back() -> None:
+    at = {"mono": 0.0, "unix": 1000.0}
+    clock = WallClock(lambda: at["mono"], lambda: at["unix"])
+    assert clock() == 1_000_000.0
+    at.update(mono=6.0, unix=900.0)  # stepped back
+    assert clock() == 1_000_000.0
+    at.update(mono=12.0, unix=1100.0)
+    assert clock() == 1_100_000.0
--- /dev/null
+++ b/tests/test_front.py
@@ -0,0 +1,269 @@
+"""The RESP2 path on real sockets: one test for each rule."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from badgeryoke.actor import WallClock
+from badgeryoke.gateway import App
+from martenstep import interface as api
+from tests.standins import (
+    Backend,
+    Counter,
+    Discovery,
+    config,
+    connect,
+    entry,
+    gateway,
+    one_gateway,
+    query,
+    read_reply,
+    resp,
+    roster,
+)
+
+
+def play(test: Callable[[], Awaitable[None]]) -> None:
+    async def bounded() -> None:
+        await asyncio.wait_for(test(), 60)  # only so that a fault does not hang the run
+
+    asyncio.run(bounded())
+
+
+async def ask(app: App, *commands: bytes) -> list[object]:
+    reader, writer = await connect(app.address)
+    writer.write(b"".join(commands))
+    answers = [await read_reply(reader) for _ in commands]
+    writer.close()
+    return answers
+
+
+def test_a_query_is_passed_on_unchanged_and_its_value_comes_back() -> None:
+    async def test() -> None:
+        async with Counter() as counter, one_gateway(counter=counter.port) as (app, node, _):
+            answers = await ask(app, query("id1", "load-send", 3, key="5c0f6e1a2b3d4c59", body="BODY"))
+            assert answers == [b"value"]
+            name, customer, rid, listed, body = node.commands[0]
+            assert (name, customer, rid, body) == (b"SVC.SUBMIT", b"%016x" % 5, b"id1", b"BODY")
+            given = dict(part.split("=") for part in listed.decode().split(","))
+            assert 0 < int(given.pop("d")) <= 60_000
+            assert given == {"c": "load-send", "t": "dealer", "k": "5c0f6e1a2b3d4c59", "units": "3",
+                             "spread": "2", "first": "0"}
+            assert counter.units == 3
+
+    play(test)
+
+
+FAILURES = [
+    pytest.param([b"-ERR failed used=3 inflight=1\r\n"], 2, id="an error of a safe class goes elsewhere"),
+    pytest.param([b"-BUSY\r\n"], 2, id="turned away never ran"),
+    pytest.param([b"RESET"], 2, id="a reset of a safe class goes elsewhere"),
+    pytest.param([b"!garbage\r\n"], 2, id="bytes that are no RESP2"),
+    pytest.param([b"*1\r\n$-1\r\n"], 2, id="an array without a value"),
+    pytest.param([b"*3\r\n$5\r\nvalue\r\n$3\r\nxyz\r\n$2\r\n==\r\n"], 1, id="broken figures"),
+]
+
+
+@pytest.mark.parametrize(("script", "attempts"), FAILURES)
+def test_what_a_backend_answers_becomes_an_outcome(script: list[bytes | None], attempts: int) -> None:
+    async def test() -> None:
+        async with one_gateway(script=script) as (app, node, _):
+            assert await ask(app, query()) == [b"value"]
+            assert len(node.commands) == attempts
+
+    play(test)
+
+
+def test_an_unkeyed_unsafe_attempt_that_may_have_run_is_not_sent_again() -> None:
+    unsafe = api.RequestClass("load-send", 30_000.0, 60_000.0, api.Effect.UNSAFE)
+
+    async def test() -> None:
+        async with Backend(script=[b"RESET"]) as node, Discovery(entry("a", node.port)) as list_:
+            made = config(list_.port, None, roster(entry("a", node.port)), classes=(unsafe,))
+            async with gateway(made) as app:
+                [answer] = await ask(app, query(cls="load-send", key="1" * 16))
+                assert str(answer).startswith("-ERR failed") and len(node.commands) == 1
+
+    play(test)
+
+
+def test_no_server_is_a_refusal_with_a_time_to_come_back() -> None:
+    async def test() -> None:
+        async with gateway(config(1, None, roster(entry("a", 1, "leaving")))) as app:
+            [answer] = await ask(app, query())
+            assert str(answer).startswith("-BUSY ") and int(str(answer)[6:]) > 0
+
+    play(test)
+
+
+def test_answers_come_in_the_order_of_the_commands() -> None:
+    async def test() -> None:
+        async with one_gateway(script=[None, None]) as (app, node, _):
+            reader, writer = await connect(app.address)
+            writer.write(query("held") + query("quick") + resp("PING"))
+            while len(node.commands) < 2:
+                await asyncio.sleep(0)
+            held = next(n for n, c in enumerate(node.commands) if c[2] == b"held")
+            node.writers[1 - held].write(b"*1\r\n$5\r\nquick\r\n")
+            node.writers[held].write(b"*1\r\n$4\r\nheld\r\n")
+            assert [await read_reply(reader) for _ in range(3)] == [b"held", b"quick", "+PONG"]
+            writer.close()
+
+    play(test)
+
+
+def test_a_silent_backend_costs_no_query_its_answer() -> None:
+    async def test() -> None:
+        quick = api.RequestClass("balance-check", 300.0, 300.0, api.Effect.SAFE)
+        async with Backend(script=[None] * 3) as node, Discovery(entry("a", node.port)) as list_:
+            made = config(list_.port, None, roster(entry("a", node.port)), classes=(quick,))
+            async with gateway(made, WallClock(time.monotonic, time.time)) as app:
+                [answer] = await ask(app, query(d=300))
+                assert str(answer).startswith("-BUSY ") and node.commands
+                await node.ended.wait()  # the attempt is really over
+
+    play(test)
+
+
+def test_a_client_that_leaves_ends_its_attempt() -> None:
+    async def test() -> None:
+        async with one_gateway(script=[None]) as (app, node, _):
+            _, writer = await connect(app.address)
+            writer.write(query())
+            await node.books.arrived.wait()
+            writer.close()
+            await node.ended.wait()
+            assert app.core.unanswered == 0
+
+    play(test)
+
+
+MALFORMED = [
+    pytest.param(resp("SVC.QUERY", "0" * 16), True, id="too few words"),
+    pytest.param(resp("SVC.QUERY", "z" * 16, "r", "c=balance-check"), True, id="customer is no number"),
+    pytest.param(resp("SVC.QUERY", "f" * 16, "r", "c=balance-check"), True, id="customer too large"),
+    pytest.param(query(cls="lottery"), True, id="unknown class"),
+    pytest.param(query(plan="gold"), True, id="unknown plan"),
+    pytest.param(query(d=-1), True, id="negative time"),
+    pytest.param(resp("FLUSHALL"), True, id="unknown command"),
+    pytest.param(b"PING\r\n", False, id="no array"),
+    pytest.param(b"*1\r\n$70000\r\n", False, id="too large a value"),
+    pytest.param(b"*99\r\n", False, id="too many words"),
+]
+
+
+@pytest.mark.parametrize(("sent", "stays"), MALFORMED)
+def test_malformed_input_gets_an_error_and_costs_at_most_its_connection(sent: bytes, stays: bool) -> None:
+    async def test() -> None:
+        async with one_gateway() as (app, _, _):
+            other_reader, other = await connect(app.address)
+            reader, writer = await connect(app.address)
+            writer.write(sent)
+            assert str(await read_reply(reader)).startswith("-ERR")
+            if stays:
+                writer.write(query())
+                assert await read_reply(reader) == b"value"
+            else:
+                assert await reader.read() == b""
+            other.write(query("r2"))
+            assert await read_reply(other_reader) == b"value"
+            other.close()
+            writer.close()
+
+    play(test)
+
+
+def test_pong_only_once_a_list_is_known() -> None:
+    async def test() -> None:
+        list_ = Discovery()
+        async with list_:
+            port = list_.port
+        made = config(port, None)  # discovery is absent at the start
+        async with gateway(made) as app:
+            assert await ask(app, resp("PING")) == ["-ERR not ready"]
+            list_ = Discovery(entry("a", 1))
+            list_.port = port
+            async with list_:
+                while await ask(app, resp("PING")) != ["+PONG"]:
+                    await asyncio.sleep(0.01)
+
+    play(test)
+
+
+def test_nothing_new_goes_to_a_server_that_leaves() -> None:
+    async def test() -> None:
+        async with one_gateway(script=[None]) as (app, node, list_):
+            reader, writer = await connect(app.address)
+            writer.write(query("before"))
+            await node.books.arrived.wait()
+            while not any("after" in call for call in list_.calls):
+                await asyncio.sleep(0)
+            list_.change(entry("a", node.port, "leaving"))
+            while len(list_.calls) < 3:  # the change was taken in: the next watch has begun
+                await asyncio.sleep(0)
+            assert str((await ask(app, query("after")))[0]).startswith("-BUSY")
+            node.writers[0].write(b"*1\r\n$4\r\nlast\r\n")  # what it holds is waited for
+            assert await read_reply(reader) == b"last"
+            assert [c[2] for c in node.commands] == [b"before"]
+            writer.close()
+
+    play(test)
+
+
+def test_a_connection_serves_one_query_after_another() -> None:
+    async def test() -> None:
+        async with one_gateway() as (app, node, _):
+            for n in range(20):
+                assert await ask(app, query(f"r{n}")) == [b"value"]
+            assert node.connections == 1
+
+    play(test)
+
+
+def test_a_server_that_is_not_there_never_ran() -> None:
+    async def test() -> None:
+        async with Backend() as gone:
+            port = gone.port
+        async with Backend() as node, Discovery(entry("a", port), entry("b", node.port)) as list_:
+            known = roster(entry("a", port), entry("b", node.port))
+            async with gateway(config(list_.port, None, known)) as app:
+                for n in range(8):  # a keyed class may go elsewhere only because nothing ran
+                    assert await ask(app, query(f"r{n}", "load-send", key=f"{n:016x}")) == [b"value"]
+
+    play(test)
+
+
+def test_after_sigterm_what_was_taken_is_answered_and_then_it_ends() -> None:
+    async def test() -> None:
+        async with one_gateway(script=[None]) as (app, node, _):
+            reader, writer = await connect(app.address)
+            writer.write(query())
+            await node.books.arrived.wait()
+            app.end()
+            assert await ask(app, resp("PING")) == ["-ERR not ready"]  # taken, though no longer ready
+            assert not app.done.is_set()
+            node.writers[0].write(b"*1\r\n$4\r\nlast\r\n")
+            assert await read_reply(reader) == b"last"
+            assert await reader.read() == b""
+            await app.done.wait()
+
+    play(test)
+
+
+def test_quotas_hold_over_gateways_by_the_counter_alone() -> None:
+    async def test() -> None:
+        async with Backend() as node, Discovery(entry("a", node.port)) as list_, Counter() as counter:
+            known = roster(entry("a", node.port))
+            async with gateway(config(list_.port, counter.port, known)) as one, gateway(
+                    config(list_.port, counter.port, known, me=1)) as two:
+                answers = [(await ask(app, query(f"r{n}", units=3, plan="small")))[0]
+                           for n, app in enumerate([one, two] * 4)]
+                served = [n for n, answer in enumerate(answers) if answer == b"value"]
+                assert len(served) == 4 and node.books.units[5] == 12
+                assert all(str(a).startswith("-BUSY ") for a in answers if a != b"value")
+
+    play(test)
--- /dev/null
+++ b/tests/test_parsers.py
@@ -0,0 +1,219 @@
+"""Tables of cases for everything that reads a wire or a file."""
+
+from __future__ import annotations
+
+import json
+import struct
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from badgeryoke.config import ConfigError, read_config
+from badgeryoke.counter import encode as encode_call
+from badgeryoke.counter import read_total
+from badgeryoke.diameter import codec
+from badgeryoke.diameter.repeats import Identity, Repeats
+from badgeryoke.host_group import Response, read_roster
+from badgeryoke.resp.parser import ErrorReply, Parser, ProtocolError, Status, bulk, command, error
+from tests.standins import avp, avps, ccr, entry
+from tests.test_wire import PARAMS
+
+RESP = [
+    (b"*2\r\n$4\r\nPING\r\n$0\r\n\r\n", [[b"PING", b""]]),
+    (b"+OK\r\n-BUSY 20\r\n:-3\r\n", [Status(b"OK"), ErrorReply(b"BUSY 20"), -3]),
+    (b"$-1\r\n*-1\r\n*0\r\n", [None, None, []]),
+    (b"*3\r\n$1\r\na\r\n$-1\r\n*1\r\n:1\r\n", [[b"a", None, [1]]]),
+    (b"$4\r\n\r\n\r\n\r\n", [b"\r\n\r\n"]),
+]
+
+
+@pytest.mark.parametrize(("data", "values"), RESP)
+def test_resp_is_read_whole_and_byte_by_byte(data: bytes, values: list[Any]) -> None:
+    whole = Parser()
+    assert whole.feed(data) == values and whole.idle
+    pieces = Parser()
+    got = [value for n in range(len(data)) for value in pieces.feed(data[n:n + 1])]
+    assert got == values and [type(v) for v in got] == [type(v) for v in values] and pieces.idle
+
+
+@pytest.mark.parametrize("data", [
+    b"PING\r\n", b"*x\r\n", b"$-2\r\n", b"*17\r\n", b"$65537\r\n", b"$1\r\nab\r\n", b":1.5\r\n", b"$\r\n",
+    b"*1\r\n*1\r\n*1\r\n", b"+" + b"x" * 2000, b"$" + b"9" * 40 + b"\r\n",
+])
+def test_what_is_no_resp_or_passes_a_bound_is_told(data: bytes) -> None:
+    with pytest.raises(ProtocolError):
+        Parser().feed(data)
+
+
+def test_resp_is_written_so_that_it_reads_back() -> None:
+    words = [b"SVC.QUERY", b"", b"\r\n"]
+    assert Parser().feed(command(words) + bulk(b"v") + error("ERR two\r\nlines")) == [
+        words, b"v", ErrorReply(b"ERR two lines")]
+
+
+BODY = b'{"version":1}'
+HTTP = [
+    (b"HTTP/1.1 200 OK\r\nContent-Length: 13\r\n\r\n" + BODY, True),
+    (b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\n" + BODY[:4] + b"\r\n9;x=1\r\n" + BODY[4:]
+     + b"\r\n0\r\n\r\n", True),
+    (b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 13\r\n\r\n" + BODY, False),
+]
+
+
+@pytest.mark.parametrize(("data", "keep"), HTTP)
+def test_an_http_response_is_read_in_any_pieces(data: bytes, keep: bool) -> None:
+    response = Response()
+    assert [response.feed(data[n:n + 1]) for n in range(len(data))] == [False] * (len(data) - 1) + [True]
+    assert (response.status, bytes(response.body), response.keep) == (200, BODY, keep)
+
+
+@pytest.mark.parametrize("data", [
+    b"ICY 200\r\n\r\n", b"HTTP/1.1 200 OK\r\n\r\n", b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n", b"x" * 20_000,
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+])
+def test_a_malformed_http_response_is_told(data: bytes) -> None:
+    with pytest.raises(ValueError):
+        Response().feed(data)
+
+
+@pytest.mark.parametrize("raw", [
+    None, [], {}, {"servers": [1]}, {"servers": [{"id": 1}]},
+    {"servers": [{**entry("a", 1), "state": "odd"}]},
+    {"servers": [{**entry("a", 1), "addr": "nowhere"}]}, {"servers": [{**entry("a", 1), "weight": "x"}]},
+    {"servers": [{**entry("a", 1), "started_ms": True}]}, {"version": "1", "servers": []},
+])
+def test_a_malformed_list_is_told(raw: Any) -> None:
+    with pytest.raises(ValueError):
+        read_roster(raw)
+
+
+@pytest.mark.parametrize(("reply", "total"), [
+    (b"12.5", 12.5), (b"-3", -3.0), (b"nan", None), (b"x", None), (7, None), (ErrorReply(b"BUSY"), None)])
+def test_a_total_is_a_finite_number_in_a_bulk_string(reply: Any, total: float | None) -> None:
+    assert read_total(reply) == total
+
+
+def test_a_counter_call_is_in_bounds() -> None:
+    assert Parser().feed(encode_call(7, -2.5, 1e6) + encode_call(7, 0.0, 0.0)) == [
+        [b"INCRTTL", b"7", b"-2.5", b"60000"], [b"INCRTTL", b"7", b"0", b"1"]]
+
+
+def test_diameter_is_framed_in_any_pieces() -> None:
+    data = ccr(7) + ccr(8, number=1)
+    framer = codec.Framer()
+    got = [m for n in range(len(data)) for m in framer.feed(data[n:n + 1])]
+    assert [m.end_to_end for m in got] == [7, 8] and not framer.cut and framer.fault is None
+    assert b"".join(m.encode() for m in got) == data
+
+
+@pytest.mark.parametrize(("body", "result"), [
+    (b"\0" * 4, 5014), (struct.pack(">II", 1, 7), 5014), (struct.pack(">II", 1, 100), 5014),
+    (struct.pack(">II", 1, 0x80 << 24 | 8), 5014), (avp(1, b"") * 200, 5012),
+])
+def test_broken_avps_are_a_fault_with_a_result_code(body: bytes, result: int) -> None:
+    fault = codec.read_avps(body)
+    assert isinstance(fault, codec.Fault) and fault.result == result
+
+
+def test_avps_are_padded_and_read_back() -> None:
+    made = [codec.text(263, "abc"), codec.Avp(7, b"\1\2\3\4\5", 0, 10415), codec.units_avp(437, 3)]
+    data = codec.encode(made)
+    assert codec.read_avps(data) == made and len(data) % 4 == 0
+    assert avps(data)[263] == b"abc" and codec.units_of(made[2]) == 3
+
+
+def test_the_key_derives_from_the_identity_alone_and_from_all_of_it() -> None:
+    one = Identity("h", 1, "s", 0)
+    others = [Identity("h2", 1, "s", 0), Identity("h", 2, "s", 0), Identity("h", 1, "t", 0),
+              Identity("h", 1, "s", 1), Identity("h1", 1, "s", 0)]
+    assert one.key() == Identity("h", 1, "s", 0).key() == "47218e1462e4d40f"
+    assert len({one.key(), *(other.key() for other in others)}) == 6
+
+
+def test_answers_are_kept_for_their_time_and_in_bounds() -> None:
+    at = [0.0]
+    repeats = Repeats(240.0, lambda: at[0], most=1)
+    from badgeryoke.core import Failed
+    first = Identity("h", 1, "s", 0)
+    entry_ = repeats.begin(first)
+    assert entry_ is not None and repeats.begin(Identity("h", 2, "t", 0)) is None  # full
+    repeats.end(entry_, Failed("x"), keep=True)
+    at[0] = 239.0
+    assert repeats.find(first) is entry_
+    at[0] = 241.0
+    assert repeats.find(first) is None and repeats.begin(first) is not None
+
+
+GOOD: dict[str, Any] = {
+    "name": "n3", "listen": "127.0.0.1:6379", "discovery": "127.0.0.1:8500", "seed": "8c1f",
+    "counter": "127.0.0.1:1",
+    "limits": {"sockets": 512}, "known": {"version": 1, "full": True, "servers": [entry("a", 1)]},
+    "settings": PARAMS}
+
+
+def written(tmp_path: Path, raw: Any, diameter: str = "") -> dict[str, str]:
+    (tmp_path / "config.json").write_text(raw if isinstance(raw, str) else json.dumps(raw))
+    (tmp_path / "deploy").mkdir()
+    if diameter:
+        (tmp_path / "deploy" / "diameter.toml").write_text(diameter)
+    return {"LB_CONFIG": str(tmp_path / "config.json")}
+
+
+def test_configuration_is_read_with_its_defaults(tmp_path: Path) -> None:
+    made = read_config({**written(tmp_path, GOOD), "LB_LISTEN": "127.0.0.2:1"}, tmp_path)
+    assert made.listen == ("127.0.0.2", 1) and made.seed == 0x8C1F and made.sockets == 512
+    assert made.connect_ms == 250 and made.safe == {"read"} and made.diameter is None
+    assert made.known is not None and made.known.hosts[0].id == "a"
+
+
+@pytest.mark.parametrize(("change", "key"), [
+    ({"listen": "x"}, "LB_LISTEN"), ({"discovery": None}, "LB_DISCOVERY"), ({"counter": None}, "counter"),
+    ({"counter": "a:b"}, "counter"), ({"seed": "xyz"}, "seed"), ({"limits": 3}, "limits"),
+    ({"limits": {"sockets": "many"}}, "limits.sockets"), ({"known": {"servers": 1}}, "known.servers"),
+    ({"settings": None}, "settings"), ({"settings": {**PARAMS, "me": None}}, "settings"),
+    ({"settings": {k: v for k, v in PARAMS.items() if k != "rules"}}, "rules"),
+    ({"settings": {**PARAMS, "policy_limits": {"conn_idle_ms": 0}}}, "settings.policy_limits.conn_idle_ms"),
+])
+def test_faulty_configuration_names_its_key(change: dict[str, Any], key: str, tmp_path: Path) -> None:
+    with pytest.raises(ConfigError, match=key):
+        read_config(written(tmp_path, {**GOOD, **change}), tmp_path)
+
+
+def test_configuration_that_is_no_json_is_told(tmp_path: Path) -> None:
+    with pytest.raises(ConfigError, match="LB_CONFIG"):
+        read_config({}, tmp_path)
+    with pytest.raises(ConfigError, match="LB_CONFIG"):
+        read_config(written(tmp_path, "{"), tmp_path)
+
+
+ON = 'enabled = true\norigin_host = "g.example"\norigin_realm = "example"\n'
+
+
+@pytest.mark.parametrize(("text", "key"), [
+    ("enabled = 1", "enabled"), ("enabled = true", "origin_host"), (ON + 'listen = "x"', "listen"),
+    (ON + 'listen = "192.0.2.1:3868"', "listen"), (ON + 'clients = "a"', "clients"),
+    (ON + "watchdog_s = 1", "watchdog_s"), (ON + '[plans]\nx = "plain"', "plans.x"),
+    (ON + '[plans]\n1 = "gold"', "plans.1"), ("enabled", "diameter.toml"),
+])
+def test_a_faulty_deploy_file_names_its_key(text: str, key: str, tmp_path: Path) -> None:
+    with pytest.raises(ConfigError, match=key):
+        read_config(written(tmp_path, GOOD, text), tmp_path)
+
+
+def test_the_deploy_file_turns_the_front_on(tmp_path: Path) -> None:
+    text = ON + 'listen = "127.0.0.1:3868"\n[plans]\n1 = "plain"'
+    made = read_config(written(tmp_path, GOOD, text), tmp_path)
+    assert made.diameter is not None and made.diameter.plans == {1: "plain"}
+    assert made.diameter.listen == ("127.0.0.1", 3868)
+
+
+def test_the_deploy_file_in_the_repository_is_off_and_sound(tmp_path: Path) -> None:
+    text = (Path(__file__).parent.parent / "deploy/diameter.toml").read_text()
+    plans = [{"name": name, "units_per_s": 1.0, "most_at_once": 4.0}
+             for name in ("sari-sari", "dealer", "distributor")]
+    raw = {**GOOD, "settings": {**PARAMS, "contracts": plans}}
+    assert read_config(written(tmp_path, raw, text), tmp_path).diameter is None
+    (tmp_path / "deploy/diameter.toml").write_text(text.replace("enabled = false", "enabled = true"))
+    assert read_config({"LB_CONFIG": str(tmp_path / "config.json")}, tmp_path).diameter is not None
