--- a/tests/test_diameter.py
+++ b/tests/test_diameter.py
@@ -309,7 +309,7 @@
 
 
 def test_a_mixed_run_counts_and_drops_what_a_resp2_run_does() -> None:
-    """The same queries through two gateways: by RESP2 alone, and half by Diameter before both kinds of server.
+    """The same queries through two gateways: by RESP2 alone, then half by Diameter and to both kinds.
 
     Each third debit is repeated through the other gateway, as a client does that lost its first answer.
     """
