Settle true units: a guessed charge is corrected when the answer comes

Ruled out: calls of their own for corrections, each would cost what it mends; they ride with the next call. Full refunds under a ceiling: it goes by the guesses, so a customer whose guesses run high could pass it.

--- a/martenstep/decide.py
+++ b/martenstep/decide.py
@@ -151,6 +151,7 @@
         self.mine = self.others = 0.0  # EWMA of units a second, this gateway's and the others'
         self.owed = 0.0  # units sent and in no call yet; below 0: reported but not sent
         self.guessed = 0.0  # units of unheard sends elsewhere that the tries in the call stand for
+        self.settled = 0.0  # units by which answers corrected guesses, not yet told
         self.maybe = 0.0  # units in calls that timed out
         self.asked: dict[int, float] = {}  # names with a call out and the units in it
         self.pending: dict[str, float] = {}  # requests, and their units, in the call that is out
@@ -266,10 +267,19 @@
             led.base, led.period, led.unclosed = 0.0, period, True
             led.owed = max(led.owed, 0.0)
         led.pending, led.waiting = led.waiting, {}
-        add = led.owed + guessed + sum(led.pending.values())
-        led.owed, led.guessed = 0.0, guessed
+        add = led.owed + led.settled + guessed + sum(led.pending.values())
+        led.owed, led.settled, led.guessed = 0.0, 0.0, guessed
         return [self._call(led, period, add)]
 
+    def settle(self, now: float, led: Ledger, units: float) -> None:
+        """Correct a guessed charge, in the TAT now and at the counter with the next call.  A ceiling goes by
+        the guess: what is given back lets more through under it, and so comes out of the headroom."""
+        if units < 0 and led.head:
+            units = -min(-units, max(led.head.room(now), 0.0))
+            led.head.take(-units, now)
+        led.quota.tat += units * led.quota.per_unit
+        led.settled += units
+
     def _call(self, led: Ledger, period: int, units: float) -> Action:
         name = name_of(led.customer, period)
         led.asked[name] = units
@@ -761,6 +771,8 @@
     def _outcome(self, now: float, event: Outcome) -> list[Action]:
         job = self._jobs.get(event.id)
         self._fleet.outcome(now, event, job.cls.aim_ms if job else math.inf)
+        if job and event.verdict is Verdict.OK and event.true_units > 0 and job.ledger.plan.rate > 0:
+            self._quota.settle(now, job.ledger, event.true_units - job.request.units)
         if job is None or event.ended:
             self._drop(event.id)
             return []
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import math
+from dataclasses import replace
 
 import pytest
 
 from martenstep import interface as api
-from martenstep.decide import MASK, Meter, name_of
+from martenstep.decide import MASK, Gateway, Meter, name_of
 from tests.helpers import CAPPED, PLAIN, START, admit, answer, gateway, only, outcome, request
 
 
@@ -253,3 +254,35 @@
     made = gateway()
     actions = made.handle(START, request("r0", remaining=190.0))
     assert only(actions, api.Send) and not only(actions, api.Count)
+
+
+def settled(made: Gateway, send: api.Send, units: float) -> None:
+    done = replace(outcome(send, api.Verdict.OK), true_units=units)
+    made.handle(START + 50, done)
+
+
+def test_a_guessed_charge_is_corrected_by_the_answer() -> None:
+    """Guesses err by half and were never corrected: use beyond quotas cost 3% of the worth."""
+    for true, more in ((1.0, 3), (4.0, 0)):
+        made = gateway(gateways=1, has_counter=True)
+        totals: dict[int, float] = {}
+        [send] = only(admit(made, START, request("a", units=2.0, spread=1), totals), api.Send)
+        settled(made, send, true)
+        sent = [only(admit(made, START + 60, request(f"b{n}", spread=1), totals), api.Send) for n in range(4)]
+        assert sum(map(bool, sent)) == more
+        if more:
+            assert sum(totals.values()) == true + more
+
+
+def test_what_is_given_back_under_a_ceiling_comes_out_of_its_headroom() -> None:
+    """A ceiling goes by the guesses: refunds must not let more through than quota and headroom together."""
+    plan = api.Plan("capped", rate=0.01, burst=10.0, ceiling_rate=0.02, ceiling_burst=14.0)
+    made, totals, units = gateway(plans=(plan,), gateways=1), dict[int, float](), 0.0
+    admit(made, START, request("r", plan="capped", units=1.0, spread=1), totals)
+    for n in range(60):
+        now = START + 2_000_000.0 + n * 10  # the headroom and the burst have filled
+        event = request(f"r{n}", plan="capped", units=2.0, spread=1)
+        for send in only(admit(made, now, event, totals), api.Send):
+            units += 2.0
+            made.handle(now + 5, replace(outcome(send, api.Verdict.OK), true_units=0.5))
+    assert 10.0 < units <= 14.0
