Give all actors with mail their turns in one round of the event loop

Checked: each piece read cost a round for the reader, one for the link, one for the core and one for the next link. Read data is now handled in the reader's own turn, and what an actor posts to the next in the same round. Found on the way: the bound on a connection's waiting commands was looked at before what had been read was taken, and held back nothing (ClientLink.serve); now tested.

--- a/badgeryoke/actor.py
+++ b/badgeryoke/actor.py
@@ -27,34 +27,82 @@
     def time(self) -> float: ...
 
 
+class Turns:
+    """The event loop, and the actors that have mail.
+
+    One callback goes round all of them until none has any: what one actor posts to the next is handled in the
+    same round of the event loop, since a round of its own for each would cost more than the handling.
+    """
+
+    MOST = 10_000  # turns in one callback, so that connections and timers are not kept waiting
+
+    def __init__(self, loop: Loop) -> None:
+        self.call_soon, self.call_later, self.time = loop.call_soon, loop.call_later, loop.time
+        self._due: deque[Actor] = deque()
+        self._planned = self._running = False
+
+    def due(self, actor: Actor) -> None:
+        """An actor has mail."""
+        self._due.append(actor)
+        if not self._planned and not self._running:
+            self._planned = True
+            self.call_soon(self._planned_run)
+
+    def _planned_run(self) -> None:
+        self._planned = False
+        self.run()
+
+    def run(self) -> None:
+        """Give each actor that has mail its turn."""
+        if self._running:
+            return
+        self._running = True
+        try:
+            for _ in range(self.MOST):
+                if not self._due:
+                    return
+                self._due.popleft().turn()
+        finally:
+            self._running = False
+            if self._due and not self._planned:
+                self._planned = True
+                self.call_soon(self._planned_run)
+
+
 class Actor:
     """Messages come in with post() and are handled in order; nobody else touches the actor's state."""
 
-    def __init__(self, loop: Loop) -> None:
+    def __init__(self, loop: Turns) -> None:
         self._loop = loop
         self._mail: deque[tuple[Callable[..., None], tuple[Any, ...]]] = deque()
-        self._due = False
 
     def post(self, handler: Callable[..., None], *args: Any) -> None:
         """Leave a message: the handler and what it is to be given."""
+        if not self._mail:
+            self._loop.due(self)
         self._mail.append((handler, args))
-        if not self._due:
-            self._due = True
-            self._loop.call_soon(self._drain)
 
-    def _drain(self) -> None:
-        """Handle all that has come, also what the handlers post meanwhile, then end the turn."""
+    def deliver(self, handler: Callable[..., None], *args: Any) -> None:
+        """The same from a callback of the event loop: the turns begin at once."""
+        self.post(handler, *args)
+        self._loop.run()
+
+    def turn(self) -> None:
+        """Handle all that has come, then end the turn."""
         mail = self._mail
+        for _ in range(len(mail)):
+            handler, args = mail[0]
+            try:
+                handler(*args)
+            except Exception:  # one message must not cost those behind it
+                log.exception("message failed: %s", handler.__qualname__)
+            mail.popleft()
         try:
-            while mail:
-                handler, args = mail.popleft()
-                try:
-                    handler(*args)
-                except Exception:  # one message must not cost those behind it
-                    log.exception("message failed: %s", handler.__qualname__)
-        finally:
-            self._due = False
             self.turn_ended()
+        except Exception:
+            log.exception("end of turn failed: %s", type(self).__name__)
+        if mail:
+            self._loop.due(self)
 
     def turn_ended(self) -> None:
         """Called once after each turn: the place to write what the turn has gathered."""
--- a/badgeryoke/core.py
+++ b/badgeryoke/core.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from badgeryoke.actor import Actor, Loop
+from badgeryoke.actor import Actor, Turns
 from badgeryoke.execution import End, Execution, Query, ServerLink
 from martenstep import interface as api
 from martenstep.decide import Gateway
@@ -80,7 +80,7 @@
 class Core(Actor):
     """Drives one decision module."""
 
-    def __init__(self, settings: api.Settings, seed: int, loop: Loop, clock: Callable[[], float],
+    def __init__(self, settings: api.Settings, seed: int, loop: Turns, clock: Callable[[], float],
                  links: Callable[[int], ServerLink | None], counter: Counter) -> None:
         super().__init__(loop)
         self._module = Gateway(settings, seed)
@@ -142,7 +142,7 @@
         self._running[run.id] = run
         self._bodies += body
         # A timer of the core's own keeps the deadline, so that no fault of the module loses a query.
-        run.timer = self._loop.call_later(left / 1000.0, self.post, self._overdue, run)
+        run.timer = self._loop.call_later(left / 1000.0, self.deliver, self._overdue, run)
         query = run.query
         self._decide(api.Request(run.id, query.cls, query.plan, query.customer, left, query.units,
                                  query.spread, query.first, query.retry), run)
@@ -202,7 +202,7 @@
             case api.Count(name=name, units=units, expire_ms=life):
                 self._counter.add(name, units, life, self._counted)
             case api.Wake(at_ms=at, token=token):
-                self._loop.call_later(max(at - now, 0.0) / 1000.0, self.post, self._decide, api.Due(token))
+                self._loop.call_later(max(at - now, 0.0) / 1000.0, self.deliver, self._decide, api.Due(token))
             case api.Cancel(id=rid, attempt=attempt):
                 run = self._running.get(rid)
                 if run is not None and run.execution is not None and run.execution.attempt == attempt:
--- a/badgeryoke/counter.py
+++ b/badgeryoke/counter.py
@@ -10,7 +10,7 @@
 
 from tornado.iostream import IOStream, StreamClosedError
 
-from badgeryoke.actor import Actor, Loop, new_socket, pump
+from badgeryoke.actor import Actor, Turns, new_socket, pump
 from badgeryoke.resp.parser import ErrorReply, Parser, ProtocolError, Value, command
 from martenstep.interface import Total, Verdict
 
@@ -53,7 +53,7 @@
 class CounterLink(Actor):
     """Owns the connection; a call made while there is none fails at once, and nothing was added."""
 
-    def __init__(self, address: tuple[str, int], timeout_ms: float, loop: Loop,
+    def __init__(self, address: tuple[str, int], timeout_ms: float, loop: Turns,
                  clock: Callable[[], float]) -> None:
         super().__init__(loop)
         self._address, self._timeout_ms, self._clock = address, max(timeout_ms, 1.0), clock
@@ -122,7 +122,7 @@
         elif not self._calls:
             return
         self._timer = True
-        self._loop.call_later(wait / 1000.0, self.post, self._times_up)
+        self._loop.call_later(wait / 1000.0, self.deliver, self._times_up)
 
     def _times_up(self) -> None:
         self._timer = False
@@ -154,13 +154,13 @@
             sock = new_socket(self._address)
         except OSError as fault:  # no descriptor is free: a later try may find one
             self._fault(f"no socket: {fault}")
-            self._loop.call_later(BACK_OFF_S[1], self.post, self._connect)
+            self._loop.call_later(BACK_OFF_S[1], self.deliver, self._connect)
             return
         stream = self._stream = IOStream(sock, max_buffer_size=256 * 1024)
         self._up, self._parser = False, Parser()
         stream.set_close_callback(lambda: self.post(self._closed, stream))
         self._task = asyncio.ensure_future(self._live(stream))
-        self._loop.call_later(CONNECT_S, self.post, self._too_late, stream)
+        self._loop.call_later(CONNECT_S, self.deliver, self._too_late, stream)
 
     def _too_late(self, stream: IOStream) -> None:
         if stream is self._stream and not self._up:
@@ -181,7 +181,7 @@
             stream.close()
             return
         self.post(self._opened, stream)
-        await pump(stream, lambda data: self.post(self._arrived, stream, data))
+        await pump(stream, lambda data: self.deliver(self._arrived, stream, data))
 
     def _arrived(self, stream: IOStream, data: bytes) -> None:
         if stream is not self._stream:
@@ -222,7 +222,7 @@
         for call in calls:
             self._finish(call, Verdict.TIMEOUT if call.written else Verdict.CONNECT_FAILED)
         if not self._closing:
-            self._loop.call_later(self._back_off, self.post, self._connect)
+            self._loop.call_later(self._back_off, self.deliver, self._connect)
             self._back_off = min(self._back_off * 2, BACK_OFF_S[1])
 
     def _close(self) -> None:
--- a/badgeryoke/diameter/client_link.py
+++ b/badgeryoke/diameter/client_link.py
@@ -10,7 +10,7 @@
 from tornado.iostream import IOStream
 from tornado.tcpserver import TCPServer
 
-from badgeryoke.actor import Actor, Loop
+from badgeryoke.actor import Actor, Turns
 from badgeryoke.config import DiameterConfig
 from badgeryoke.core import Answer, Core, Failed, Refused, Served
 from badgeryoke.diameter import codec
@@ -143,7 +143,7 @@
 class Register(Actor):
     """Remembers across all connections what was asked, and puts it to the core once."""
 
-    def __init__(self, config: DiameterConfig, settings: Settings, core: Core, loop: Loop,
+    def __init__(self, config: DiameterConfig, settings: Settings, core: Core, loop: Turns,
                  clock: Callable[[], float]) -> None:
         super().__init__(loop)
         self._config, self._core, self._clock = config, core, clock
@@ -217,7 +217,7 @@
 class DiameterFront(TCPServer):
     """Accepts Diameter clients."""
 
-    def __init__(self, config: DiameterConfig, settings: Settings, me: Identity, core: Core, loop: Loop,
+    def __init__(self, config: DiameterConfig, settings: Settings, me: Identity, core: Core, loop: Turns,
                  clock: Callable[[], float], most: int) -> None:
         super().__init__(max_buffer_size=4 * codec.MAX_MESSAGE)
         self.config, self.me, self.loop = config, me, loop
--- a/badgeryoke/diameter/peer.py
+++ b/badgeryoke/diameter/peer.py
@@ -9,7 +9,7 @@
 
 from tornado.iostream import IOStream, StreamClosedError
 
-from badgeryoke.actor import Actor, Loop, pump
+from badgeryoke.actor import Actor, Turns, pump
 from badgeryoke.diameter import codec
 from badgeryoke.diameter.codec import Avp, Code, Command, Fault, Message, Result
 
@@ -42,7 +42,7 @@
 
     expects_request = True  # the other side opened the connection, and sends the CER
 
-    def __init__(self, stream: IOStream, me: Identity, loop: Loop, watchdog_s: float) -> None:
+    def __init__(self, stream: IOStream, me: Identity, loop: Turns, watchdog_s: float) -> None:
         super().__init__(loop)
         self.stream, self.me = stream, me
         self.state = State.WAIT_EXCHANGE
@@ -55,11 +55,11 @@
         self._ending = False  # close once what is gathered has been written
         self._next_id = random.getrandbits(32)
         stream.set_close_callback(lambda: self.post(self._gone))
-        loop.call_later(EXCHANGE_S, self.post, self._exchange_late)
+        loop.call_later(EXCHANGE_S, self.deliver, self._exchange_late)
 
     async def read(self) -> None:
         """Take in what comes until the connection ends."""
-        await pump(self.stream, lambda data: self.post(self._arrived, data))
+        await pump(self.stream, lambda data: self.deliver(self._arrived, data))
 
     def next_id(self) -> int:
         self._next_id = (self._next_id + 1) & 0xFFFFFFFF
@@ -104,7 +104,7 @@
 
     def _finish(self) -> None:
         if self.stream.writing():
-            self._loop.call_later(0.01, self.post, self._finish)
+            self._loop.call_later(0.01, self.deliver, self._finish)
         else:
             self.stream.close()
 
@@ -218,7 +218,7 @@
 
     def _arm(self) -> None:
         wait = self._watchdog_s + random.uniform(-WATCHDOG_JITTER_S, WATCHDOG_JITTER_S)
-        self._loop.call_later(max(wait, 0.1), self.post, self._watch)
+        self._loop.call_later(max(wait, 0.1), self.deliver, self._watch)
 
     def _watch(self) -> None:
         """Nothing heard for the watchdog's time: ask; nothing after that either: the peer is gone."""
--- a/badgeryoke/diameter/server_link.py
+++ b/badgeryoke/diameter/server_link.py
@@ -9,7 +9,7 @@
 
 from tornado.iostream import IOStream, StreamClosedError
 
-from badgeryoke.actor import Actor, Loop, new_socket
+from badgeryoke.actor import Actor, Turns, new_socket
 from badgeryoke.diameter import codec
 from badgeryoke.diameter.codec import Avp, Code, Command, Fault, Message, Result
 from badgeryoke.diameter.peer import Identity, Peer, State
@@ -91,7 +91,7 @@
 
     expects_request = False
 
-    def __init__(self, stream: IOStream, owner: DiameterServerLink, loop: Loop, watchdog_s: float) -> None:
+    def __init__(self, stream: IOStream, owner: DiameterServerLink, loop: Turns, watchdog_s: float) -> None:
         super().__init__(stream, owner.me, loop, watchdog_s)
         self._owner = owner
         self.out: dict[int, Execution] = {}
@@ -139,14 +139,14 @@
             for execution in batch:
                 execution.written()
         else:
-            self._loop.call_later(0.0, self.post, self._look, batch)
+            self._loop.call_later(0.0, self.deliver, self._look, batch)
 
     def _look(self, batch: list[Execution]) -> None:
         """Written whole once nothing waits in the stream; a break before that proves that none ran."""
         if self.stream.closed():
             return
         if self.stream.writing():
-            self._loop.call_later(0.001, self.post, self._look, batch)
+            self._loop.call_later(0.001, self.deliver, self._look, batch)
             return
         for execution in batch:
             execution.written()
@@ -176,7 +176,7 @@
 class DiameterServerLink(Actor):
     """One Diameter server: connected when first needed, and again when needed after a loss."""
 
-    def __init__(self, address: tuple[str, int], loop: Loop, clock: Callable[[], float], *, me: Identity,
+    def __init__(self, address: tuple[str, int], loop: Turns, clock: Callable[[], float], *, me: Identity,
                  safe: frozenset[str], services: dict[str, int], connect_ms: float, idle_ms: float,
                  watchdog_s: float) -> None:
         super().__init__(loop)
@@ -205,7 +205,7 @@
             execution.moot("too many attempts wait for the connection")
         else:
             self._waiting.append(execution)
-            self._loop.call_later(self._connect_ms / 1000.0, self.post, self._unmet, execution)
+            self._loop.call_later(self._connect_ms / 1000.0, self.deliver, self._unmet, execution)
             if self._connection is None:
                 self._connect()
 
--- a/badgeryoke/gateway.py
+++ b/badgeryoke/gateway.py
@@ -12,7 +12,7 @@
 from tornado.netutil import bind_sockets
 from tornado.tcpserver import TCPServer
 
-from badgeryoke.actor import Loop, WallClock
+from badgeryoke.actor import Turns, WallClock
 from badgeryoke.config import Config
 from badgeryoke.core import Core
 from badgeryoke.counter import CounterLink
@@ -39,7 +39,7 @@
 class NoCounter:
     """Stands where the settings give no counter."""
 
-    def __init__(self, loop: Loop) -> None:
+    def __init__(self, loop: Turns) -> None:
         self._loop = loop
 
     def add(self, name: int, units: float, life_ms: float, done: Callable[[Total], None]) -> None:
@@ -49,7 +49,7 @@
 class RespFront(TCPServer):
     """Accepts the platform's clients."""
 
-    def __init__(self, core: Core, loop: Loop, most: int, host_group: HostGroup) -> None:
+    def __init__(self, core: Core, loop: Turns, most: int, host_group: HostGroup) -> None:
         super().__init__(max_buffer_size=CLIENT_BUFFER)
         self._core, self._loop, self._most, self._host_group = core, loop, most, host_group
         self.links: dict[ClientLink, None] = {}
@@ -78,7 +78,7 @@
 
     def __init__(self, config: Config, clock: Callable[[], float] | None = None) -> None:
         self._config = config
-        self._loop = loop = asyncio.get_running_loop()
+        self._loop = loop = Turns(asyncio.get_running_loop())
         self._clock = clock or WallClock(time.monotonic, time.time)
         self._links: dict[int, tuple[Host, RespServerLink | DiameterServerLink]] = {}
         self._counter = (CounterLink(config.counter, config.settings.counter_timeout_ms, loop, self._clock)
@@ -118,7 +118,7 @@
     async def run(self) -> None:
         """Serve until SIGTERM, then answer all that was taken."""
         for number in (signal.SIGTERM, signal.SIGINT):
-            self._loop.add_signal_handler(number, self.end)
+            asyncio.get_running_loop().add_signal_handler(number, self.end)
         self.start()
         await self.done.wait()
 
--- a/badgeryoke/host_group.py
+++ b/badgeryoke/host_group.py
@@ -12,7 +12,7 @@
 import ujson
 from tornado.iostream import IOStream
 
-from badgeryoke.actor import READ_CHUNK, Actor, Loop, new_socket
+from badgeryoke.actor import READ_CHUNK, Actor, Turns, new_socket
 from martenstep.interface import Members, Scope, Server, State
 
 log = logging.getLogger("badgeryoke.host_group")
@@ -150,7 +150,7 @@
 class HostGroup(Actor):
     """Keeps the list, and tells of each change: the module's members, and who is at which address."""
 
-    def __init__(self, address: tuple[str, int], known: Roster | None, loop: Loop,
+    def __init__(self, address: tuple[str, int], known: Roster | None, loop: Turns,
                  changed: Callable[[Members, dict[int, Host]], None]) -> None:
         super().__init__(loop)
         self._address, self._known, self._changed = address, known, changed
--- a/badgeryoke/resp/client_link.py
+++ b/badgeryoke/resp/client_link.py
@@ -11,7 +11,7 @@
 
 from tornado.iostream import IOStream, StreamClosedError
 
-from badgeryoke.actor import READ_CHUNK, Actor, Loop
+from badgeryoke.actor import READ_CHUNK, Actor, Turns
 from badgeryoke.core import Answer, Core, Refused, Served
 from badgeryoke.execution import Query, customer_number
 from badgeryoke.resp.parser import Parser, ProtocolError, Value, bulk, error, pairs
@@ -68,7 +68,7 @@
 class ClientLink(Actor):
     """One connection: commands in, answers out in the commands' order, one write a turn."""
 
-    def __init__(self, stream: IOStream, core: Core, loop: Loop, ready: Callable[[], bool],
+    def __init__(self, stream: IOStream, core: Core, loop: Turns, ready: Callable[[], bool],
                  closed: Callable[[ClientLink], None]) -> None:
         super().__init__(loop)
         self._stream, self._core, self._ready, self._closed = stream, core, ready, closed
@@ -83,7 +83,7 @@
         """Read until the connection ends, and no further while too many commands wait for their answers."""
         try:
             while True:
-                self.post(self._take, await self._stream.read_bytes(READ_CHUNK, partial=True))
+                self.deliver(self._take, await self._stream.read_bytes(READ_CHUNK, partial=True))
                 if len(self._slots) >= MOST_WAITING:
                     self._room.clear()
                     await self._room.wait()
@@ -156,7 +156,7 @@
         if self._stream.closed():
             return
         if self._stream.writing():
-            self._loop.call_later(0.01, self.post, self._finish)
+            self._loop.call_later(0.01, self.deliver, self._finish)
         elif not self._finished:
             self._finished = True
             with contextlib.suppress(OSError):
@@ -169,7 +169,7 @@
 
     def _end(self) -> None:
         if not self._parser.idle:  # a command is on its way in: it is taken first
-            self._loop.call_later(0.02, self.post, self._end)
+            self._loop.call_later(0.02, self.deliver, self._end)
             return
         self._ending = True
 
--- a/badgeryoke/resp/server_link.py
+++ b/badgeryoke/resp/server_link.py
@@ -14,7 +14,7 @@
 
 from tornado.iostream import IOStream, StreamClosedError
 
-from badgeryoke.actor import Actor, Loop, new_socket, pump
+from badgeryoke.actor import Actor, Turns, new_socket, pump
 from badgeryoke.execution import Execution, Query
 from badgeryoke.resp.parser import ErrorReply, Parser, ProtocolError, Value, command, pairs
 
@@ -94,13 +94,13 @@
             self.stream.close()
             return
         self.owner.post(self.owner.opened, self)
-        await pump(self.stream, lambda data: self.owner.post(self.owner.arrived, self, data))
+        await pump(self.stream, lambda data: self.owner.deliver(self.owner.arrived, self, data))
 
 
 class RespServerLink(Actor):
     """One backend."""
 
-    def __init__(self, address: tuple[str, int], loop: Loop, clock: Callable[[], float], *,
+    def __init__(self, address: tuple[str, int], loop: Turns, clock: Callable[[], float], *,
                  safe: frozenset[str], report_names: tuple[str, ...], connect_ms: float, idle_ms: float,
                  most: int) -> None:
         super().__init__(loop)
@@ -131,7 +131,7 @@
             return
         self._waiting.append(execution)
         execution.on_abandon = lambda: self.post(self._unmet, execution)
-        self._loop.call_later(self._connect_ms / 1000.0, self.post, self._unmet, execution)
+        self._loop.call_later(self._connect_ms / 1000.0, self.deliver, self._unmet, execution)
         self._open()
 
     def _open(self) -> None:
@@ -145,7 +145,7 @@
                 return
             self._opening += 1
             self._all[connection] = None
-            self._loop.call_later(self._connect_ms / 1000.0, self.post, self._too_late, connection)
+            self._loop.call_later(self._connect_ms / 1000.0, self.deliver, self._too_late, connection)
 
     def _unmet(self, execution: Execution) -> None:
         """No connection in time."""
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from badgeryoke.actor import Actor, WallClock
+from badgeryoke.actor import Actor, Turns, WallClock
 from badgeryoke.core import Answer, Core, Failed, Refused, Served
 from badgeryoke.execution import Execution, Query, Stage
 from martenstep import interface as api
@@ -81,7 +81,7 @@
     def __init__(self, **changes: Any) -> None:
         self.loop, self.link = FakeLoop(), Link()
         made = settings(has_counter=False, classes=(AIM, KEYED, UNSAFE), **changes)
-        self.core = Core(made, 1, self.loop, self.loop.clock, lambda _: self.link, NoCounter())
+        self.core = Core(made, 1, Turns(self.loop), self.loop.clock, lambda _: self.link, NoCounter())
         self.core.members(api.Members(api.Scope.FULL, (api.Server(1, "a", "std", 0, api.State.UP),)))
         self.answers: list[Answer] = []
 
@@ -225,7 +225,7 @@
 def test_a_message_that_fails_costs_none_behind_it() -> None:
     loop = FakeLoop()
     done: list[int] = []
-    actor = Actor(loop)
+    actor = Actor(Turns(loop))
     actor.post(done.remove, 7)
     actor.post(done.append, 1)
     loop.run()
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -3,13 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import time
 from collections.abc import Awaitable, Callable
 
 import pytest
+from tornado.iostream import IOStream
 
-from badgeryoke.actor import WallClock
+from badgeryoke.actor import Turns, WallClock
+from badgeryoke.execution import Query
 from badgeryoke.gateway import App
+from badgeryoke.resp.client_link import MOST_WAITING, ClientLink
 from martenstep import interface as api
 from tests.standins import (
     Backend,
@@ -269,3 +273,37 @@
                 assert all(str(a).startswith("-BUSY ") for a in answers if a != b"value")
 
     play(test)
+
+
+def test_no_more_is_read_of_a_client_while_too_many_commands_wait() -> None:
+    """The bound was looked at before what had been read was taken: it held back nothing."""
+
+    class Core:
+        taken = 0
+
+        def problem(self, query: Query) -> None:
+            return None
+
+        def submit(self, query: Query, answer: object) -> Callable[[], None]:
+            self.taken += 1
+            return lambda: None
+
+    async def test() -> None:
+        ours, theirs = socket.socketpair()
+        core = Core()
+        stream = IOStream(ours)
+        link = ClientLink(stream, core, Turns(asyncio.get_running_loop()),  # type: ignore[arg-type]
+                          lambda: True, lambda _: None)
+        serving = asyncio.ensure_future(link.serve())
+        _, writer = await asyncio.open_connection(sock=theirs)
+        writer.write(query(body="x" * 30_000) * 2 * MOST_WAITING)  # a reading brings two or three
+        while core.taken < MOST_WAITING:
+            await asyncio.sleep(0)
+        for _ in range(1000):
+            await asyncio.sleep(0)
+        assert core.taken < MOST_WAITING + 4
+        writer.transport.abort()
+        stream.close()
+        await serving
+
+    play(test)
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from badgeryoke.actor import Turns
 from badgeryoke.counter import CounterLink
 from badgeryoke.host_group import HostGroup, Roster
 from martenstep.interface import Members, Scope, State, Total, Verdict
@@ -20,7 +21,7 @@
     def __init__(self, port: int, timeout_ms: float = 50.0) -> None:
         self.now = NOW_MS
         self.got: asyncio.Queue[Total] = asyncio.Queue()
-        self.link = CounterLink((HOST, port), timeout_ms, asyncio.get_running_loop(), lambda: self.now)
+        self.link = CounterLink((HOST, port), timeout_ms, Turns(asyncio.get_running_loop()), lambda: self.now)
         self.link.open()
 
     async def call(self, name: int, units: float = 1.0) -> Total:
@@ -116,7 +117,7 @@
 
     def __init__(self, port: int, known: Roster | None = None) -> None:
         self.told: asyncio.Queue[tuple[Members, dict[int, Any]]] = asyncio.Queue()
-        self.group = HostGroup((HOST, port), known, asyncio.get_running_loop(),
+        self.group = HostGroup((HOST, port), known, Turns(asyncio.get_running_loop()),
                                lambda members, hosts: self.told.put_nowait((members, hosts)))
         self.group.start()
 
