Serve what comes before a protocol fault; part from Diameter servers that drain

Seen, by reading: Parser.feed raised and dropped the whole values of the same piece, so that a good command in front of a bad one got the error as its answer; a Diameter server gone from the list kept its connection for good, held by the watchdog. Lines at fault: Parser.feed, now with a fault beside the values; DiameterServerLink._drain_now, which closed nothing. Each has a test that fails without the change. The discovery watch backs off to 150 ms at most, so that a short loss does not start a new watch. Errors of the core no longer use one wire's field names.

--- a/badgeryoke/core.py
+++ b/badgeryoke/core.py
@@ -102,10 +102,10 @@
         if query.cls not in self._classes:
             return f"unknown class {query.cls[:32]!r}"
         if self._classes[query.cls].effect is api.Effect.KEYED and not query.key:
-            return "no k in the list"
+            return "no key, in a class that takes one"
         if query.plan not in self._plans:
             return f"unknown plan {query.plan[:32]!r}"
-        for name, value, least in (("d", query.remaining_ms, 0.0), ("units", query.units, 0.0),
+        for name, value, least in (("time to wait", query.remaining_ms, 0.0), ("units", query.units, 0.0),
                                    ("spread", query.spread, 1)):
             if not (math.isfinite(value) and least <= value <= 1e9):
                 return f"{name} out of range"
--- a/badgeryoke/counter.py
+++ b/badgeryoke/counter.py
@@ -11,7 +11,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from badgeryoke.actor import Actor, Turns, new_socket, pump
-from badgeryoke.resp.parser import ErrorReply, Parser, ProtocolError, Value, command
+from badgeryoke.resp.parser import ErrorReply, Parser, Value, command
 from martenstep.interface import Total, Verdict
 
 log = logging.getLogger("badgeryoke.counter")
@@ -187,13 +187,7 @@
         if stream is not self._stream:
             return
         self._heard = self._clock()
-        try:
-            values = self._parser.feed(data)
-        except ProtocolError as fault:
-            self._fault(f"broke the protocol: {fault}")
-            stream.close()
-            return
-        for value in values:
+        for value in self._parser.feed(data):
             if not self._calls or not self._calls[0].written:
                 self._fault("answered what nobody asked")
                 stream.close()
@@ -209,6 +203,9 @@
             else:
                 self._fault("answer is no total")
                 self._finish(call, Verdict.TIMEOUT)
+        if self._parser.fault:
+            self._fault(f"broke the protocol: {self._parser.fault}")
+            stream.close()
 
     def _closed(self, stream: IOStream) -> None:
         """What was written may have been added, the rest was not."""
--- a/badgeryoke/diameter/peer.py
+++ b/badgeryoke/diameter/peer.py
@@ -79,7 +79,7 @@
 
     def accepts(self, host: str) -> bool:
         """Whether this peer is let in."""
-        return bool(host) and host != self.me.host
+        return bool(host) and host.isascii() and host.isprintable() and host != self.me.host
 
     # Writing.
 
@@ -202,7 +202,7 @@
                 if result != Result.SUCCESS:
                     fault = Fault(Result.UNKNOWN_PEER, f"exchange refused with {result}")
         if fault is not None:
-            log.warning("peer %s: capabilities exchange failed: %s", host[:64] or "?", fault.text)
+            log.warning("peer %.80r: capabilities exchange failed: %s", host, fault.text)
             if message.is_request:
                 self.reply_fault(message, fault)
             self._ending = True
--- a/badgeryoke/diameter/server_link.py
+++ b/badgeryoke/diameter/server_link.py
@@ -171,6 +171,13 @@
         execution.on_abandon = None
         if fault := settle(execution, avps):
             self._owner.complain(fault)
+        self.part()
+
+    def part(self) -> None:
+        """Leave a server that drains or is gone, once it owes nothing: the watchdog would hold the connection
+        for good."""
+        if self._owner.draining and not self.out and self.state is State.OPEN:
+            self.disconnect(codec.DO_NOT_WANT_TO_TALK_TO_YOU)
 
 
 class DiameterServerLink(Actor):
@@ -186,18 +193,14 @@
         self._idle_s = idle_ms * IDLE_PART / 1000.0
         self._connection: _Connection | None = None
         self._waiting: list[Execution] = []
-        self._draining = False
+        self.draining = False
         self._complained = False
 
-    @property
-    def connections(self) -> int:
-        return int(self._connection is not None)
-
     def start(self, execution: Execution) -> None:
         self.post(self._start, execution)
 
     def _start(self, execution: Execution) -> None:
-        if self._draining:
+        if self.draining:
             execution.lost("server is gone")
         elif self._connection is not None and self._connection.state is State.OPEN:
             self._connection.post(self._connection.write, execution)
@@ -241,7 +244,7 @@
         if connection is not self._connection:
             return
         self._connection = None
-        if connection.host and self._waiting and not self._draining:
+        if connection.host and self._waiting and not self.draining:
             self._connect()  # it had been open, and was closed while these came
             return
         waiting, self._waiting = self._waiting, []
@@ -270,13 +273,15 @@
         self.post(self._drain_now)
 
     def _drain_now(self) -> None:
-        self._draining = True
+        self.draining = True
         waiting, self._waiting = self._waiting, []
         for execution in waiting:
             execution.lost("server is draining")
+        if self._connection is not None:
+            self._connection.post(self._connection.part)
 
     def reopen(self) -> None:
         self.post(self._reopen)
 
     def _reopen(self) -> None:
-        self._draining = False
+        self.draining = False
--- a/badgeryoke/host_group.py
+++ b/badgeryoke/host_group.py
@@ -21,7 +21,7 @@
 WAIT_MS = 5000  # how long a watch may wait: short, so that a watch that has died in silence is soon found out
 SILENT_S = 1.0  # no answer for this long after that: the connection is given up
 WHOLE_S = 2.0  # for an answer to the first call, which need not wait for anything
-BACK_OFF_S = (0.02, 0.5)  # before the next connection: at first and at most
+BACK_OFF_S = (0.02, 0.15)  # before the next connection: at first and at most
 MAX_HEAD, MAX_BODY = 16 * 1024, 4 * 1024 * 1024
 STATES = {"active": State.UP, "leaving": State.DRAINING, "left": State.GONE}
 
--- a/badgeryoke/resp/client_link.py
+++ b/badgeryoke/resp/client_link.py
@@ -14,7 +14,7 @@
 from badgeryoke.actor import READ_CHUNK, Actor, Turns
 from badgeryoke.core import Answer, Core, Refused, Served
 from badgeryoke.execution import Query, customer_number
-from badgeryoke.resp.parser import Parser, ProtocolError, Value, bulk, error, pairs
+from badgeryoke.resp.parser import Parser, Value, bulk, error, pairs
 
 log = logging.getLogger("badgeryoke.resp.client")
 
@@ -93,15 +93,12 @@
     def _take(self, data: bytes) -> None:
         if self._broken or self._finished:
             return
-        try:
-            values = self._parser.feed(data)
-        except ProtocolError as fault:
+        for value in self._parser.feed(data):
+            self._command(value)
+        if fault := self._parser.fault:
             log.info("client broke the protocol: %s", fault)
             self._slots.append(_Slot(error(f"ERR protocol: {fault}")))
             self._broken = self._ending = True
-            return
-        for value in values:
-            self._command(value)
 
     def _command(self, value: Value) -> None:
         slot = _Slot()
--- a/badgeryoke/resp/parser.py
+++ b/badgeryoke/resp/parser.py
@@ -7,8 +7,8 @@
 MAX_BULK = 64 * 1024  # the protocol's bound on a value
 
 
-class ProtocolError(Exception):
-    """The bytes are not RESP2, or pass a bound: nothing after them can be read."""
+class _ProtocolError(Exception):
+    """Ends the reading; it does not leave the parser."""
 
 
 class Status(bytes):
@@ -26,6 +26,8 @@
     """Takes bytes as they come and gives the values that are whole.
 
     Each byte is looked at once, however small the pieces: what is read of an unfinished array is kept.
+    Where the bytes are not RESP2, or pass a bound, fault says so; what was whole before it still counts, and
+    nothing after it is read.
     """
 
     def __init__(self, max_bulk: int = MAX_BULK, max_items: int = 16, max_depth: int = 2,
@@ -36,6 +38,7 @@
         self._bulk: int | None = None  # length of the bulk string that is being read
         self._open: list[tuple[int, list[Value]]] = []  # arrays begun, and how many items each will have
         self._scanned = 0  # bytes of the buffer known to hold no line end
+        self.fault = ""
 
     @property
     def idle(self) -> bool:
@@ -44,23 +47,32 @@
 
     def feed(self, data: bytes) -> list[Value]:
         """The values that data completes."""
+        whole: list[Value] = []
+        if not self.fault:
+            try:
+                self._read(data, whole)
+            except _ProtocolError as fault:
+                self.fault = str(fault)
+                self._buffer.clear()
+        return whole
+
+    def _read(self, data: bytes, whole: list[Value]) -> None:
         buffer = self._buffer
         buffer += data
         at = 0
-        whole: list[Value] = []
         while True:
             if self._bulk is not None:
                 end = at + self._bulk
                 if len(buffer) < end + 2:
                     break
                 if buffer[end:end + 2] != b"\r\n":
-                    raise ProtocolError("bulk string without its line end")
+                    raise _ProtocolError("bulk string without its line end")
                 value: Value = bytes(buffer[at:end])
                 self._bulk, at = None, end + 2
             else:
                 end = buffer.find(b"\r\n", max(at, self._scanned))
                 if end - at > self._max_line or (end < 0 and len(buffer) - at > self._max_line):
-                    raise ProtocolError("line too long")
+                    raise _ProtocolError("line too long")
                 if end < 0:
                     self._scanned = max(len(buffer) - 1, at)
                     break
@@ -76,7 +88,7 @@
                     count = self._length(line, self._max_items)
                     if count > 0:
                         if len(self._open) >= self._max_depth:
-                            raise ProtocolError("arrays too deep")
+                            raise _ProtocolError("arrays too deep")
                         self._open.append((count, []))
                         continue
                     value = [] if count == 0 else None
@@ -87,7 +99,7 @@
                 elif kind == b":":
                     value = self._integer(line)
                 else:
-                    raise ProtocolError("unknown type byte")
+                    raise _ProtocolError("unknown type byte")
             while self._open:
                 count, items = self._open[-1]
                 items.append(value)
@@ -99,19 +111,18 @@
                 whole.append(value)
         del buffer[:at]
         self._scanned = max(self._scanned - at, 0)
-        return whole
 
     @staticmethod
     def _integer(line: bytes) -> int:
         digits = line[1:] if line[:1] in (b"-", b"+") else line
         if not digits.isdigit() or len(digits) > 19:
-            raise ProtocolError("number expected")
+            raise _ProtocolError("number expected")
         return int(line)
 
     def _length(self, line: bytes, most: int) -> int:
         length = self._integer(line)
         if length < -1 or length > most:
-            raise ProtocolError("length out of bounds")
+            raise _ProtocolError("length out of bounds")
         return length
 
 
--- a/badgeryoke/resp/server_link.py
+++ b/badgeryoke/resp/server_link.py
@@ -16,7 +16,7 @@
 
 from badgeryoke.actor import Actor, Turns, new_socket, pump
 from badgeryoke.execution import Execution, Query
-from badgeryoke.resp.parser import ErrorReply, Parser, ProtocolError, Value, command, pairs
+from badgeryoke.resp.parser import ErrorReply, Parser, Value, command, pairs
 
 log = logging.getLogger("badgeryoke.resp.server")
 
@@ -114,10 +114,6 @@
         self._closed = False
         self._complained = False
 
-    @property
-    def connections(self) -> int:
-        return len(self._all)
-
     def start(self, execution: Execution) -> None:
         """Carry out an attempt on an idle connection, or on one opened for it."""
         self.post(self._start, execution)
@@ -201,10 +197,9 @@
     def arrived(self, connection: _Connection, data: bytes) -> None:
         """Bytes of an answer."""
         execution = connection.execution
-        try:
-            values = connection.parser.feed(data)
-        except ProtocolError as fault:
-            self._complain(f"broke the protocol: {fault}")
+        values = connection.parser.feed(data)
+        if connection.parser.fault:
+            self._complain(f"broke the protocol: {connection.parser.fault}")
             if execution is not None:
                 execution.error("malformed answer")
             connection.stream.close()
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -276,6 +276,7 @@
         self.books = books or Books()
         self.script = list(script or [])
         self.got: list[Got] = []
+        self.parted = asyncio.Event()  # a DPR has come
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         base = avp(264, "node.example") + avp(296, "yoke.example")
@@ -295,6 +296,8 @@
                     440, avp(441, 1) + avp(442, "value"))
                 flags = 0x60 if 3000 <= result < 4000 else 0x40
             else:
+                if got.command == 282:
+                    self.parted.set()
                 body, flags = avp(268, 2001) + base + (avp(258, 4) if got.command == 257 else b""), 0
             app = 4 if got.command == 272 else 0
             writer.write(message(flags, got.command, app, got.hop, got.end, body))
--- a/tests/test_diameter.py
+++ b/tests/test_diameter.py
@@ -359,6 +359,19 @@
     assert stream.over
 
 
+def test_a_diameter_server_that_leaves_is_parted_from_once_it_has_answered() -> None:
+    async def test() -> None:
+        async with one_gateway(kind="diameter", diameter=True) as (app, node, list_):
+            assert await ask(app, query()) == [b"value"]
+            while len(list_.calls) < 2:
+                await asyncio.sleep(0)
+            list_.change(entry("a", node.port, "leaving", "diameter"))
+            await node.parted.wait()
+            assert str((await ask(app, query()))[0]).startswith("-BUSY")
+
+    play(test)
+
+
 def test_a_lost_diameter_server_may_have_run_what_was_written() -> None:
     async def test(app: App, node: DiameterServer) -> None:
         reader, writer = await connect(app.address)
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -189,6 +189,17 @@
     play(test)
 
 
+def test_a_query_before_a_fault_in_the_same_piece_is_served() -> None:
+    """The parser gave nothing of a piece with a fault in it: what was taken before it had no answer."""
+
+    async def test() -> None:
+        async with one_gateway() as (app, _, _):
+            first, second = await ask(app, query(), b"PING\r\n")
+            assert first == b"value" and str(second).startswith("-ERR protocol")
+
+    play(test)
+
+
 def test_pong_only_once_a_list_is_known() -> None:
     async def test() -> None:
         list_ = Discovery()
