Give nothing back where a gateway holds no headroom; extra charges refill it

Seen, by reading: with no part of a ceiling's headroom a gateway's meter has no rate, and a correction clamped to nothing was 0 times infinity; the meter's time became no number and every later test against the ceiling passed. Lines at fault: Quota.settle in martenstep/decide.py. A test reproduces it: it fails without the change. Also: what answers charge besides goes into the headroom as what they give back comes out of it, so that the two cancel and only the net counts.

--- a/martenstep/decide.py
+++ b/martenstep/decide.py
@@ -273,10 +273,12 @@
 
     def settle(self, now: float, led: Ledger, units: float) -> None:
         """Correct a guessed charge, in the TAT now and at the counter with the next call.  A ceiling goes by
-        the guess: what is given back lets more through under it, and so comes out of the headroom."""
-        if units < 0 and led.head:
-            units = -min(-units, max(led.head.room(now), 0.0))
-            led.head.take(-units, now)
+        the guess: what is given back lets more through under it, and so comes out of the headroom, into
+        which goes what is taken besides.  A gateway that holds no part of it gives nothing back."""
+        if led.head:
+            units = max(units, -max(led.head.room(now), 0.0))
+            if units and led.head.tolerance:
+                led.head.take(-units, now)
         led.quota.tat += units * led.quota.per_unit
         led.settled += units
 
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -286,3 +286,16 @@
             units += 2.0
             made.handle(now + 5, replace(outcome(send, api.Verdict.OK), true_units=0.5))
     assert 10.0 < units <= 14.0
+
+
+def test_a_gateway_without_headroom_gives_nothing_back() -> None:
+    """Its meter has no rate: a correction of nothing made its time no number, and every test passed it by."""
+    plan = api.Plan("capped", rate=0.01, burst=10.0, ceiling_rate=0.02, ceiling_burst=11.0)
+    made, totals = gateway(plans=(plan,), gateways=2, max_units=6.0), dict[int, float]()
+    [send] = only(admit(made, START, request("a", plan="capped", units=2.0), totals), api.Send)
+    settled(made, send, 0.5)
+    more = [request(f"b{n}", plan="capped") for n in range(20)]
+    sent = [only(admit(made, START + 60, event, totals), api.Send) for event in more]
+    assert 0 < sum(map(bool, sent)) <= 8
+    [led] = made._quota._ledgers.values()
+    assert led.head is not None and led.head.room(START + 60) == 0.0
