--- a/martenstep/decide.py
+++ b/martenstep/decide.py
@@ -774,7 +774,10 @@
         job = self._jobs.get(event.id)
         self._fleet.outcome(now, event, job.cls.aim_ms if job else math.inf)
         if job and event.verdict is Verdict.OK and event.true_units > 0 and job.ledger.plan.rate > 0:
-            self._quota.settle(now, job.ledger, event.true_units - job.request.units)
+            units = event.true_units - job.request.units
+            # Given back while answers are slow, it would let in what pressed servers could not end in time.
+            if units > 0 or self._fleet.calm(now):
+                self._quota.settle(now, job.ledger, units)
         if job is None or event.ended:
             self._drop(event.id)
             return []
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -288,6 +288,18 @@
     assert 10.0 < units <= 14.0
 
 
+def test_nothing_is_given_back_while_answers_are_slow(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The standard overload day lost service to refunds that only lengthened its queues."""
+    for calm, true, more in ((True, 1.0, 3), (False, 1.0, 2), (False, 4.0, 0)):
+        made = gateway(gateways=1)
+        totals: dict[int, float] = {}
+        [send] = only(admit(made, START, request("a", units=2.0, spread=1), totals), api.Send)
+        monkeypatch.setattr(made._fleet, "calm", lambda now, calm=calm: calm)
+        settled(made, send, true)
+        sent = [only(admit(made, START + 60, request(f"b{n}", spread=1), totals), api.Send) for n in range(4)]
+        assert sum(map(bool, sent)) == more
+
+
 def test_a_gateway_without_headroom_gives_nothing_back() -> None:
     """Its meter has no rate: a correction of nothing made its time no number, and every test passed it by."""
     plan = api.Plan("capped", rate=0.01, burst=10.0, ceiling_rate=0.02, ceiling_burst=11.0)
