Handle SIGHUP, close idle and silent clients, leave a counter connection once spoilt

Checked and ruled out: CPU (0.1 of a core at most), memory (17 of 64 MB), servers (att/r falls with the share served; p99 stays under 0.4 s). At fault: RespFront.handle_stream turned newcomers away and nothing ever closed an idle connection; App.run installed no SIGHUP handler; CounterLink._arrived kept a connection after an answer that was no total, so that a later call could take another's answer.

Changed: idle connections give way, least use first, never one with an open request or unread bytes; a command must come whole within 2 s. SIGHUP reads the file again (the file then goes before the environment) and moves the watch and the counter link; calls that are out are answered on the old connection. A spoilt total counts as added and ends the connection; the next is opened at once. The parser tells noise before its line ends.

--- a/badgeryoke/__main__.py
+++ b/badgeryoke/__main__.py
@@ -11,8 +11,9 @@
 
 
 async def main() -> None:
-    config = read_config(os.environ, Path.cwd())
-    await App(config).run()
+    root = Path.cwd()
+    config = read_config(os.environ, root)
+    await App(config, reread=lambda: read_config(os.environ, root, again=True)).run()
 
 
 if __name__ == "__main__":
--- a/badgeryoke/config.py
+++ b/badgeryoke/config.py
@@ -80,8 +80,12 @@
     return value
 
 
-def read_config(environ: Mapping[str, str], root: Path) -> Config:
-    """Read everything; raises ConfigError."""
+def read_config(environ: Mapping[str, str], root: Path, again: bool = False) -> Config:
+    """Read everything; raises ConfigError.
+
+    At the start a variable goes before the same key in the file.  Read again, the file does: what is new can
+    only stand there, since a process keeps the environment it was started with.
+    """
     path = environ.get("LB_CONFIG")
     if not path:
         raise ConfigError("LB_CONFIG: not set")
@@ -116,7 +120,8 @@
     return Config(
         name=environ.get("LB_NAME") or str(raw.get("name", "")),
         listen=_address("LB_LISTEN", environ.get("LB_LISTEN") or raw.get("listen")),
-        discovery=_address("LB_DISCOVERY", environ.get("LB_DISCOVERY") or raw.get("discovery")),
+        discovery=(_address("discovery", raw["discovery"]) if again and raw.get("discovery") else
+                   _address("LB_DISCOVERY", environ.get("LB_DISCOVERY") or raw.get("discovery"))),
         counter=_address("counter", counter) if counter else None,
         seed=seed,
         sockets=int(_number("limits", limits, "sockets", 1024, 64)),
--- a/badgeryoke/counter.py
+++ b/badgeryoke/counter.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import math
+import re
 from collections import deque
 from collections.abc import Callable
 
@@ -18,9 +19,11 @@
 
 FROZEN_TIMES = 20.0  # time-outs without any answer after which the connection is taken for dead
 MOST_CALLS = 512  # calls without an answer; more are turned away here
-BACK_OFF_S = (0.05, 1.0)  # before the next connection: at first and at most
+BACK_OFF_S = (0.05, 1.0)  # before the next connection, once one was of no use: at first and at most
 CONNECT_S = 0.5
 LIFE_MS = (1.0, 60_000.0)
+TOTAL = re.compile(rb"[+-]?(\d+\.?\d*|\.\d+)([eE][+-]?\d{1,3})?")
+PROVES_NOTHING_ADDED = re.compile(rb"(BUSY|ERR)( |$)")
 
 
 class _Call:
@@ -41,31 +44,51 @@
 
 def read_total(reply: Value) -> float | None:
     """The total in an answer; None where it is no total."""
-    if type(reply) is not bytes:
-        return None
-    try:
-        total = float(reply)
-    except ValueError:
+    if type(reply) is not bytes or len(reply) > 64 or not TOTAL.fullmatch(reply):
         return None
+    total = float(reply)
     return total if math.isfinite(total) else None
 
 
+class _Connection:
+    """One connection and the calls given to it, oldest first.  Only its link touches it."""
+
+    def __init__(self, owner: CounterLink, address: tuple[str, int]) -> None:
+        self.address = address
+        self.calls: deque[_Call] = deque()
+        self.parser = Parser(max_items=1, max_depth=1, max_line=256)
+        self.up = self.of_use = False  # connected; has brought an answer
+        self.heard = 0.0
+        self.stream = IOStream(new_socket(address), max_buffer_size=256 * 1024)
+        self.stream.set_close_callback(lambda: owner.post(owner.closed, self))
+        self._task = asyncio.ensure_future(self._live(owner, address))
+
+    async def _live(self, owner: CounterLink, address: tuple[str, int]) -> None:
+        try:
+            await self.stream.connect(address)
+        except (StreamClosedError, OSError):
+            self.stream.close()
+            return
+        owner.deliver(owner.opened, self)
+        await pump(self.stream, lambda data: owner.deliver(owner.arrived, self, data))
+
+
 class CounterLink(Actor):
-    """Owns the connection; a call made while there is none fails at once, and nothing was added."""
+    """Owns the connections: the one that calls are written to, and one on its way up where that is lost or
+    the counter has moved.  A call made while there is neither fails at once, and nothing was added."""
 
     def __init__(self, address: tuple[str, int], timeout_ms: float, loop: Turns,
                  clock: Callable[[], float]) -> None:
         super().__init__(loop)
         self._address, self._timeout_ms, self._clock = address, max(timeout_ms, 1.0), clock
-        self._stream: IOStream | None = None
-        self._up = False
-        self._parser = Parser()
-        self._calls: deque[_Call] = deque()  # in the order written; behind them those not written yet
+        self._used: _Connection | None = None
+        self._coming: _Connection | None = None
+        self._all: dict[_Connection, None] = {}  # with those left for another, until their calls are answered
         self._unwritten: list[_Call] = []
-        self._heard = 0.0
+        self._timed: deque[_Call] = deque()  # calls whose time is not up, or not seen to be; oldest first
         self._back_off = BACK_OFF_S[0]
         self._closing = False
-        self._timer = False
+        self._retrying = self._timer = False
         self._down_logged = self._fault_logged = False
 
     def open(self) -> None:
@@ -75,33 +98,39 @@
     def close(self) -> None:
         self.post(self._close)
 
+    def move(self, address: tuple[str, int]) -> None:
+        """The counter is at another address: go there, and leave the old connection once its calls are
+        answered.  Until the new one is up, calls are written to the old."""
+        self.post(self._move, address)
+
     def add(self, name: int, units: float, life_ms: float, done: Callable[[Total], None]) -> None:
         """Make one call; done is called once, no later than the time-out."""
         self.post(self._add, _Call(name, encode(name, units, life_ms), self._clock(), done))
 
     def _add(self, call: _Call) -> None:
-        if self._stream is None:
+        if self._used is None and self._coming is None:
             self._finish(call, Verdict.CONNECT_FAILED)
-        elif len(self._calls) >= MOST_CALLS:
+        elif len(self._unwritten) + sum(len(one.calls) for one in self._all) >= MOST_CALLS:
             self._finish(call, Verdict.FULL)
         else:
-            self._calls.append(call)
             self._unwritten.append(call)
+            self._timed.append(call)
             self._watch()
 
     def turn_ended(self) -> None:
         """Write what the turn has gathered."""
-        if not self._unwritten or self._stream is None or not self._up or self._stream.closed():
+        used = self._used
+        if not self._unwritten or used is None or used.stream.closed():
             return
         calls, self._unwritten = self._unwritten, []
-        stream = self._stream
-        future = stream.write(b"".join(call.data for call in calls))
+        used.calls.extend(calls)
+        future = used.stream.write(b"".join(call.data for call in calls))
 
         def written() -> None:
             for call in calls:
                 call.written = True
 
-        if not stream.writing():
+        if not used.stream.writing():
             written()
         else:
             future.add_done_callback(lambda done: None if done.exception() else written())
@@ -113,13 +142,15 @@
 
     def _watch(self) -> None:
         """One timer for all: the time-out is the same for each, so the oldest is due first."""
+        while self._timed and self._timed[0].done is None:
+            self._timed.popleft()
         if self._timer:
             return
-        oldest = next((call for call in self._calls if call.done is not None), None)
-        wait = self._timeout_ms
-        if oldest is not None:
-            wait = max(oldest.at + self._timeout_ms - self._clock(), 0.0)
-        elif not self._calls:
+        if self._timed:
+            wait = max(self._timed[0].at + self._timeout_ms - self._clock(), 0.0)
+        elif any(one.calls for one in self._all):
+            wait = self._timeout_ms
+        else:
             return
         self._timer = True
         self._loop.call_later(wait / 1000.0, self.deliver, self._times_up)
@@ -127,105 +158,142 @@
     def _times_up(self) -> None:
         self._timer = False
         now = self._clock()
-        for call in self._calls:
-            if call.at + self._timeout_ms > now + 0.5:
-                break
-            if call.done is None:
-                continue
+        while self._timed and self._timed[0].at + self._timeout_ms <= now + 0.5:
+            call = self._timed.popleft()
             if call in self._unwritten:  # never to be written now: nothing was added
+                self._unwritten.remove(call)
                 self._finish(call, Verdict.CONNECT_FAILED)
             else:
                 self._finish(call, Verdict.TIMEOUT)
-        if any(call.done is None for call in self._unwritten):
-            dead = [call for call in self._unwritten if call.done is None]
-            self._unwritten = [call for call in self._unwritten if call.done is not None]
-            self._calls = deque(call for call in self._calls if call not in dead)
-        oldest = self._calls[0] if self._calls else None
-        if (oldest is not None and self._stream is not None
-                and now - max(self._heard, oldest.at) > FROZEN_TIMES * self._timeout_ms):
-            self._fault("silent, connection given up")
-            self._stream.close()
+        for one in self._all:
+            # An answer that was begun and does not end would hold back all answers behind it.
+            if one.calls and one.calls[0].done is None and not one.parser.idle:
+                self._fault("answer without an end, connection given up")
+                one.stream.close()
+            elif one.calls and now - max(one.heard, one.calls[0].at) > FROZEN_TIMES * self._timeout_ms:
+                self._fault("silent, connection given up")
+                one.stream.close()
         self._watch()
 
+    def _move(self, address: tuple[str, int]) -> None:
+        if address == self._address:
+            return
+        self._address, self._back_off = address, BACK_OFF_S[0]
+        coming, self._coming = self._coming, None
+        if coming is not None:
+            coming.stream.close()
+        self._connect()
+
     def _connect(self) -> None:
-        if self._closing or self._stream is not None:
+        """Bring up a connection to the present address."""
+        self._retrying = False
+        there = self._used is not None and self._used.address == self._address
+        if self._closing or there or self._coming is not None:
             return
         try:
-            sock = new_socket(self._address)
+            self._coming = _Connection(self, self._address)
         except OSError as fault:  # no descriptor is free: a later try may find one
             self._fault(f"no socket: {fault}")
-            self._loop.call_later(BACK_OFF_S[1], self.deliver, self._connect)
+            self._retry(BACK_OFF_S[1])
             return
-        stream = self._stream = IOStream(sock, max_buffer_size=256 * 1024)
-        self._up, self._parser = False, Parser()
-        stream.set_close_callback(lambda: self.post(self._closed, stream))
-        self._task = asyncio.ensure_future(self._live(stream))
-        self._loop.call_later(CONNECT_S, self.deliver, self._too_late, stream)
-
-    def _too_late(self, stream: IOStream) -> None:
-        if stream is self._stream and not self._up:
-            stream.close()
-
-    def _opened(self, stream: IOStream) -> None:
-        if stream is not self._stream:
+        self._all[self._coming] = None
+        self._loop.call_later(CONNECT_S, self.deliver, self._too_late, self._coming)
+
+    def _retry(self, wait_s: float) -> None:
+        if not self._retrying:
+            self._retrying = True
+            self._loop.call_later(wait_s, self.deliver, self._connect)
+
+    def _too_late(self, connection: _Connection) -> None:
+        if not connection.up:
+            connection.stream.close()
+
+    def opened(self, connection: _Connection) -> None:
+        if connection is not self._coming:
             return
-        self._up, self._heard, self._back_off = True, self._clock(), BACK_OFF_S[0]
+        connection.up, connection.heard = True, self._clock()
+        left, self._used, self._coming = self._used, connection, None
+        if left is not None and not left.calls:
+            left.stream.close()
         if self._down_logged:
             self._down_logged = False
             log.info("counter connected again")
 
-    async def _live(self, stream: IOStream) -> None:
-        try:
-            await stream.connect(self._address)
-        except (StreamClosedError, OSError):
-            stream.close()
+    def arrived(self, connection: _Connection, data: bytes) -> None:
+        """Bytes of answers.  One that cannot be read is an amount added all the same, and the end of its
+        connection: what comes behind it belongs to nobody knows which call."""
+        if connection not in self._all:
             return
-        self.post(self._opened, stream)
-        await pump(stream, lambda data: self.deliver(self._arrived, stream, data))
-
-    def _arrived(self, stream: IOStream, data: bytes) -> None:
-        if stream is not self._stream:
-            return
-        self._heard = self._clock()
-        for value in self._parser.feed(data):
-            if not self._calls or not self._calls[0].written:
-                self._fault("answered what nobody asked")
-                stream.close()
+        connection.heard = self._clock()
+        calls = connection.calls
+        for value in connection.parser.feed(data):
+            if not calls or not calls[0].written:
+                self._spoilt(connection, "answered what nobody asked")
                 return
-            call = self._calls.popleft()
+            call = calls.popleft()
             total = read_total(value)
             if total is not None:
+                connection.of_use, self._back_off = True, BACK_OFF_S[0]
                 self._finish(call, Verdict.OK, total)
-            elif isinstance(value, ErrorReply):  # turned away, or no such call: nothing was added
+            elif isinstance(value, ErrorReply) and PROVES_NOTHING_ADDED.match(value):
+                connection.of_use, self._back_off = True, BACK_OFF_S[0]
                 if not value.startswith(b"BUSY"):
                     self._fault(f"error {bytes(value[:80])!r}")
                 self._finish(call, Verdict.FULL)
             else:
-                self._fault("answer is no total")
                 self._finish(call, Verdict.TIMEOUT)
-        if self._parser.fault:
-            self._fault(f"broke the protocol: {self._parser.fault}")
-            stream.close()
+                self._spoilt(connection, "answer is no total")
+                return
+        if connection.parser.fault:
+            self._spoilt(connection, f"broke the protocol: {connection.parser.fault}")
+        elif connection is not self._used and not calls:
+            connection.stream.close()  # the counter has moved, and this connection owes nothing more
 
-    def _closed(self, stream: IOStream) -> None:
+    def _spoilt(self, connection: _Connection, text: str) -> None:
+        self._fault(text)
+        connection.stream.close()
+        self.closed(connection)  # now: what this turn writes must not go there
+
+    def closed(self, connection: _Connection) -> None:
         """What was written may have been added, the rest was not."""
-        if stream is not self._stream:
+        if connection not in self._all:
             return
-        if not self._up and not self._down_logged:
-            self._down_logged = True
-            log.warning("counter cannot be reached: %s", stream.error or "no answer")
-        self._stream, self._up = None, False
-        calls, self._calls, self._unwritten = self._calls, deque(), []
-        for call in calls:
+        del self._all[connection]
+        for call in connection.calls:
             self._finish(call, Verdict.TIMEOUT if call.written else Verdict.CONNECT_FAILED)
+        connection.calls.clear()
+        if connection is self._coming:
+            self._coming = None
+            if not self._down_logged and not self._closing:
+                self._down_logged = True
+                log.warning("counter cannot be reached: %s", connection.stream.error or "no answer")
+            if self._used is None:
+                self._fail_unwritten()
+            self._again()
+        elif connection is self._used:
+            self._used = None
+            if self._coming is None:
+                if connection.of_use and not self._retrying:  # it worked until now: come back at once
+                    self._connect()
+                else:
+                    self._again()
+                if self._coming is None:
+                    self._fail_unwritten()
+
+    def _again(self) -> None:
         if not self._closing:
-            self._loop.call_later(self._back_off, self.deliver, self._connect)
+            self._retry(self._back_off)
             self._back_off = min(self._back_off * 2, BACK_OFF_S[1])
 
+    def _fail_unwritten(self) -> None:
+        calls, self._unwritten = self._unwritten, []
+        for call in calls:
+            self._finish(call, Verdict.CONNECT_FAILED)
+
     def _close(self) -> None:
         self._closing = True
-        if self._stream is not None:
-            self._stream.close()
+        for one in list(self._all):
+            one.stream.close()
 
     def _fault(self, text: str) -> None:
         """Log the counter's fault once."""
--- a/badgeryoke/gateway.py
+++ b/badgeryoke/gateway.py
@@ -7,13 +7,14 @@
 import signal
 import time
 from collections.abc import Callable
+from dataclasses import replace
 
 from tornado.iostream import IOStream
 from tornado.netutil import bind_sockets
 from tornado.tcpserver import TCPServer
 
 from badgeryoke.actor import Turns, WallClock
-from badgeryoke.config import Config
+from badgeryoke.config import Config, ConfigError
 from badgeryoke.core import Core
 from badgeryoke.counter import CounterLink
 from badgeryoke.diameter.client_link import DiameterFront
@@ -29,6 +30,13 @@
 CLIENT_PART, SERVER_PART, DIAMETER_PART = 0.5, 0.3, 0.1  # of the descriptors, for each kind of link
 LEAST_POOL = 4
 SWEEP_S = 1.0
+CLIENT_SWEEP_S = 0.2
+# How long a client may take over a command, the first from its connection on, and how long it may keep a
+# connection with nothing open: one that asks once and stays, or says nothing, holds descriptor and memory.
+COMMAND_S, IDLE_S = 2.0, 20.0
+# Where the bound on connections is reached, the one that has been idle longest gives way, if for this long;
+# one that has not yet said a word gives way sooner, since whoever has something to ask does so at once.
+IDLE_FULL_S, SILENT_FULL_S = 2.0, 0.25
 CLIENT_BUFFER = 128 * 1024  # bound of what is read of a client and not yet taken
 CLIENT_WRITES = 256 * 1024  # and of what it has not yet fetched
 # SIGKILL comes no sooner after SIGTERM than the longest deadline, counted as 3 s where it is longer, and
@@ -54,13 +62,16 @@
         self._core, self._loop, self._most, self._host_group = core, loop, most, host_group
         self.links: dict[ClientLink, None] = {}
         self.leaving = False
+        self._full_logged = False
 
     def ready(self) -> bool:
         return self._host_group.ready and not self.leaving
 
     async def handle_stream(self, stream: IOStream, address: object) -> None:
-        if len(self.links) >= self._most:
-            log.warning("client turned away: %d connections are open", len(self.links))
+        if len(self.links) >= self._most and not self._make_room():
+            if not self._full_logged:
+                self._full_logged = True
+                log.warning("clients are turned away: %d connections are open and in use", len(self.links))
             stream.close()
             return
         stream.set_nodelay(True)
@@ -69,6 +80,29 @@
         self.links[link] = None
         await link.serve()
 
+    def _make_room(self) -> bool:
+        """Close the connection whose client has least use of it; False where all are in use."""
+        now = self._loop.time()
+        worst: tuple[float, ClientLink] | None = None
+        for link in self.links:
+            over = now - link.idle_since - (IDLE_FULL_S if link.spoke else SILENT_FULL_S)
+            if over > 0 and (worst is None or over > worst[0]) and link.idle:
+                worst = over, link
+        if worst is None:
+            return False
+        worst[1].drop()
+        return True
+
+    def sweep(self) -> None:
+        """Close what has been idle, or not come to the end of a command, for too long."""
+        now = self._loop.time()
+        for link in list(self.links):
+            if (now - link.idle_since >= IDLE_S and link.idle) or now - link.begun_at >= COMMAND_S:
+                link.drop()
+        if self._full_logged and len(self.links) < self._most * 3 // 4:
+            self._full_logged = False
+            log.info("clients are taken again: %d connections are open", len(self.links))
+
     def _closed(self, link: ClientLink) -> None:
         self.links.pop(link, None)
 
@@ -76,8 +110,9 @@
 class App:
     """One gateway."""
 
-    def __init__(self, config: Config, clock: Callable[[], float] | None = None) -> None:
-        self._config = config
+    def __init__(self, config: Config, clock: Callable[[], float] | None = None,
+                 reread: Callable[[], Config] | None = None) -> None:
+        self._config, self._reread = config, reread
         self._loop = loop = Turns(asyncio.get_running_loop())
         self._clock = clock or WallClock(time.monotonic, time.time)
         self._links: dict[int, tuple[Host, RespServerLink | DiameterServerLink]] = {}
@@ -113,15 +148,41 @@
             self._diameter.add_sockets(sockets)
             log.info("Diameter front listens on %s:%d", *second.listen)
         self._loop.call_later(SWEEP_S, self._sweep)
+        self._loop.call_later(CLIENT_SWEEP_S, self._sweep_clients)
         log.info("gateway %s listens on %s:%d", self._config.name, host, port)
 
     async def run(self) -> None:
         """Serve until SIGTERM, then answer all that was taken."""
         for number in (signal.SIGTERM, signal.SIGINT):
             asyncio.get_running_loop().add_signal_handler(number, self.end)
+        asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, self.reload)
         self.start()
         await self.done.wait()
 
+    def reload(self) -> None:
+        """SIGHUP: read the configuration again and go by its addresses of discovery and the counter.
+
+        A faulty one is not taken.  What else differs waits for the next start: queries are under way by it.
+        """
+        if self._reread is None:
+            return
+        try:
+            config = self._reread()
+        except ConfigError as fault:
+            log.error("reload: configuration: %s; the old one stays", fault)
+            return
+        old, self._config = self._config, replace(
+            self._config, discovery=config.discovery, counter=config.counter or self._config.counter)
+        self._hosts.move(config.discovery)
+        if self._counter is not None and config.counter is not None:
+            self._counter.move(config.counter)
+        for key in ("name", "listen", "sockets", "memory_mb", "settings", "diameter"):
+            if getattr(config, key) != getattr(old, key):
+                log.warning("reload: %s differs: taken up at the next start only", key)
+        log.info("reload: discovery at %s:%d", *config.discovery)
+        if config.counter is not None:
+            log.info("reload: counter at %s:%d", *config.counter)
+
     def _link(self, server: int) -> RespServerLink | DiameterServerLink | None:
         found = self._links.get(server)
         return None if found is None else found[1]
@@ -159,6 +220,10 @@
             link.sweep()
         self._loop.call_later(SWEEP_S, self._sweep)
 
+    def _sweep_clients(self) -> None:
+        self._front.sweep()
+        self._loop.call_later(CLIENT_SWEEP_S, self._sweep_clients)
+
     def end(self) -> None:
         """SIGTERM: go on taking connections for a while, answer everything, then stop."""
         if self._ending:
--- a/badgeryoke/host_group.py
+++ b/badgeryoke/host_group.py
@@ -169,6 +169,13 @@
             self.post(self._take, self._known, Scope.WARM_COPY)
         self._task = asyncio.ensure_future(self._watch())
 
+    def move(self, address: tuple[str, int]) -> None:
+        """Discovery is at another address: ask there for the whole list; until then the old one stands."""
+        if address != self._address:
+            self._address, self._version = address, None
+            if self._stream is not None:
+                self._stream.close()
+
     def stop(self) -> None:
         self._stopped = True
         if self._stream is not None:
@@ -198,32 +205,38 @@
         """Call, take in the answer, call again at once; connect anew after a fault."""
         back_off = BACK_OFF_S[0]
         while not self._stopped:
+            address = self._address
             try:
-                await self._converse()
+                await self._converse(address)
                 back_off = BACK_OFF_S[0]
             except Exception as fault:  # whatever discovery sends, the watch goes on
-                self._complain(f"{type(fault).__name__}: {fault}")
+                if address == self._address:
+                    self._complain(f"{type(fault).__name__}: {fault}")
             finally:
                 if self._stream is not None:
                     self._stream.close()
                     self._stream = None
-            if not self._stopped:
+            if address != self._address:
+                back_off = BACK_OFF_S[0]  # it has moved: nothing is known against the new address
+            elif not self._stopped:
                 await asyncio.sleep(back_off)
                 back_off = min(back_off * 2, BACK_OFF_S[1])
 
-    async def _converse(self) -> None:
+    async def _converse(self, address: tuple[str, int]) -> None:
         """One connection's calls; returns where the other side wants a new one."""
-        stream = self._stream = IOStream(new_socket(self._address), max_buffer_size=MAX_BODY + MAX_HEAD)
-        await asyncio.wait_for(stream.connect(self._address), SILENT_S)
+        stream = self._stream = IOStream(new_socket(address), max_buffer_size=MAX_BODY + MAX_HEAD)
+        await asyncio.wait_for(stream.connect(address), SILENT_S)
         keep = True
-        while keep and not self._stopped:
+        while keep and not self._stopped and address == self._address:
             # After a lost connection the watch goes on from the version held: what was missed comes first.
             query = "" if self._version is None else f"?after={self._version}&wait_ms={WAIT_MS}"
-            call = f"GET {PATH}{query} HTTP/1.1\r\nHost: {self._address[0]}:{self._address[1]}\r\n\r\n"
+            call = f"GET {PATH}{query} HTTP/1.1\r\nHost: {address[0]}:{address[1]}\r\n\r\n"
             await stream.write(call.encode())
             patience = WHOLE_S if self._version is None else WAIT_MS / 1000.0 + SILENT_S
             response = await asyncio.wait_for(self._response(stream), patience)
             keep = response.keep
+            if address != self._address:
+                return  # it has moved meanwhile: a list from there must not undo what the new one told
             if response.status != 200:
                 raise ValueError(f"status {response.status}")
             roster = read_roster(ujson.loads(bytes(response.body)))
--- a/badgeryoke/resp/client_link.py
+++ b/badgeryoke/resp/client_link.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import logging
+import math
 import socket
 from collections import deque
 from collections.abc import Callable
@@ -55,6 +56,14 @@
     return error(f"ERR failed {answer.detail}")
 
 
+def _unread(stream: IOStream) -> bool:
+    """Whether a client's bytes wait in the socket: they may be a command that it counts as taken."""
+    try:
+        return bool(stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+    except OSError:
+        return False
+
+
 class _Slot:
     """The place of one command in the order of answers."""
 
@@ -77,8 +86,26 @@
         self._ending = False  # closes once what was taken is answered
         self._broken = self._finished = False  # nothing that comes then can be taken
         self._room = asyncio.Event()
+        self.spoke = False  # a whole command has come
+        self.idle_since = loop.time()  # when it last had a command open, or was opened
+        self.begun_at = self.idle_since  # since when a command is on its way in, the first from the start
         stream.set_close_callback(lambda: self.post(self._gone))
 
+    @property
+    def idle(self) -> bool:
+        """Whether nothing is open, on its way in or on its way out: the connection may be closed."""
+        if self._slots or self._mail or not self._parser.idle or self._ending:
+            return False
+        return not self._stream.writing() and not _unread(self._stream)
+
+    def drop(self) -> None:
+        """Close a connection that is idle, or holds half a command that does not come to its end; one that
+        owes answers gives them first."""
+        if self._slots:
+            self.post(self._end_now)
+        else:
+            self._stream.close()
+
     async def serve(self) -> None:
         """Read until the connection ends, and no further while too many commands wait for their answers."""
         try:
@@ -93,8 +120,13 @@
     def _take(self, data: bytes) -> None:
         if self._broken or self._finished:
             return
-        for value in self._parser.feed(data):
+        values = self._parser.feed(data)
+        for value in values:
             self._command(value)
+        if self._parser.idle:
+            self.spoke, self.begun_at = True, math.inf
+        elif values or self.begun_at == math.inf:
+            self.begun_at = self._loop.time()
         if fault := self._parser.fault:
             log.info("client broke the protocol: %s", fault)
             self._slots.append(_Slot(error(f"ERR protocol: {fault}")))
@@ -142,6 +174,7 @@
                 log.warning("client reads too slowly, connection closed: %s", fault)
                 self._stream.close()
                 return
+        self.idle_since = self._loop.time()
         if len(slots) < MOST_WAITING:
             self._room.set()
         if self._ending and not slots:
@@ -164,6 +197,9 @@
         """Close as soon as everything taken has its answer."""
         self.post(self._end)
 
+    def _end_now(self) -> None:
+        self._broken = self._ending = True
+
     def _end(self) -> None:
         if not self._parser.idle:  # a command is on its way in: it is taken first
             self._loop.call_later(0.02, self.deliver, self._end)
--- a/badgeryoke/resp/parser.py
+++ b/badgeryoke/resp/parser.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterable
 
+MAX_NUMBER = 20  # digits of a number, with its sign
 MAX_BULK = 64 * 1024  # the protocol's bound on a value
 
 
@@ -74,6 +75,7 @@
                 if end - at > self._max_line or (end < 0 and len(buffer) - at > self._max_line):
                     raise _ProtocolError("line too long")
                 if end < 0:
+                    self._begun(bytes(buffer[at:at + MAX_NUMBER + 2]))
                     self._scanned = max(len(buffer) - 1, at)
                     break
                 kind, line, at = buffer[at:at + 1], bytes(buffer[at + 1:end]), end + 2
@@ -112,6 +114,16 @@
         del buffer[:at]
         self._scanned = max(self._scanned - at, 0)
 
+    @staticmethod
+    def _begun(line: bytes) -> None:
+        """Judge a line by what has come of it: noise must not have to end before it is told."""
+        kind, rest = line[:1], line[1:].rstrip(b"\r")
+        if kind and kind not in b"+-:$*":
+            raise _ProtocolError("unknown type byte")
+        if kind and kind in b":$*" and (len(rest) > MAX_NUMBER or rest.strip(b"0123456789") not in (
+                b"", b"-", b"+")):
+            raise _ProtocolError("number expected")
+
     @staticmethod
     def _integer(line: bytes) -> int:
         digits = line[1:] if line[:1] in (b"-", b"+") else line
