Check every field where it enters; serve good answers with more behind them

At fault: read_query took whatever float() and int() take, keys and lists of any length and either command for any class; Core.problem knew no upper bounds; RespServerLink.arrived judged the piece before its first value, and used a connection on after an answer that was no array or an unknown error; settle() threw both figures away together. Checked: no excess comes later than its answer's piece, and no spoilt answer in parts, yet both are guarded: a connection is looked at for unread bytes before it is used, the longest rested of the last used is taken, and an answer that is begun must end within 250 ms.

Also: a command is bounded as a whole, half commands and bodies by parts of the memory limit, unread answers by time; three malformed commands end a connection; ids of open requests are refused.

--- a/badgeryoke/core.py
+++ b/badgeryoke/core.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import logging
-import math
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
@@ -23,8 +22,8 @@
 GUARD_MS = 15.0
 GUARD_PART = 0.1  # and no more than this part of a short deadline
 FALLBACK_RETRY_MS = 100.0  # advice of a refusal that the module had no say in
-# Taken and not yet answered, and the bytes of their bodies; more are refused unseen.
-MOST_QUERIES, MOST_BODIES = 10_000, 32 * 1024 * 1024
+MOST_QUERIES = 10_000  # taken and not yet answered; more are refused unseen, ...
+MOST_BODIES = 32 * 1024 * 1024  # ... as are those whose bodies together pass a bound: this one, or a narrower
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,13 +80,16 @@
     """Drives one decision module."""
 
     def __init__(self, settings: api.Settings, seed: int, loop: Turns, clock: Callable[[], float],
-                 links: Callable[[int], ServerLink | None], counter: Counter) -> None:
+                 links: Callable[[int], ServerLink | None], counter: Counter,
+                 most_bodies: int = MOST_BODIES) -> None:
         super().__init__(loop)
         self._module = Gateway(settings, seed)
         self._clock, self._links, self._counter = clock, links, counter
+        self._most_bodies = most_bodies
         self._classes = {cls.name: cls for cls in settings.classes}
         self._plans = {plan.name for plan in settings.plans}
-        self._gateways = settings.gateways
+        self._gateways, self._max_units = settings.gateways, settings.max_units
+        self._ids: set[str] = set()  # of the queries that are owed an answer
         self._running: dict[str, _Running] = {}
         self._next = self._bodies = 0
         self.faults = 0
@@ -99,15 +101,20 @@
 
     def problem(self, query: Query) -> str | None:
         """What is wrong with a query, in words for whoever sent it; None where it can be taken."""
-        if query.cls not in self._classes:
+        cls = self._classes.get(query.cls)
+        if cls is None:
             return f"unknown class {query.cls[:32]!r}"
-        if self._classes[query.cls].effect is api.Effect.KEYED and not query.key:
+        if query.safe is not None and query.safe is not (cls.effect is api.Effect.SAFE):
+            return "not the command for this class"
+        if cls.effect is api.Effect.KEYED and not query.key:
             return "no key, in a class that takes one"
         if query.plan not in self._plans:
             return f"unknown plan {query.plan[:32]!r}"
-        for name, value, least in (("time to wait", query.remaining_ms, 0.0), ("units", query.units, 0.0),
-                                   ("spread", query.spread, 1)):
-            if not (math.isfinite(value) and least <= value <= 1e9):
+        # A figure out of these would be booked against a customer's quota, or held as long as it says.
+        for name, value, most in (("time to wait", query.remaining_ms, cls.deadline_ms + 1.0),
+                                  ("units", query.units, self._max_units),
+                                  ("spread", query.spread, self._gateways)):
+            if not 0 < value <= most:  # false for what is no number, too
                 return f"{name} out of range"
         if not 0 <= query.first < self._gateways:
             return "first out of range"
@@ -134,11 +141,18 @@
         now = self._clock()
         left = run.deadline_ms - now
         body = len(run.query.body or b"")
-        if left <= 0 or len(self._running) >= MOST_QUERIES or self._bodies + body > MOST_BODIES:
+        answer: Answer | None = None
+        if run.query.id in self._ids:
+            # Servers know a request by its id: they would take a second one for a copy of the first.
+            answer = Failed("id of a request that is open")
+        elif left <= 0 or len(self._running) >= MOST_QUERIES or self._bodies + body > self._most_bodies:
+            answer = Refused(FALLBACK_RETRY_MS)
+        if answer is not None:
             run.answer, give = None, run.answer
             if give is not None:
-                give(Refused(FALLBACK_RETRY_MS))
+                give(answer)
             return
+        self._ids.add(run.query.id)
         self._running[run.id] = run
         self._bodies += body
         # A timer of the core's own keeps the deadline, so that no fault of the module loses a query.
@@ -150,6 +164,7 @@
     def _left(self, run: _Running) -> None:
         if run.answer is not None:
             run.answer = None
+            self._ids.discard(run.query.id)
             self._release(run)
             self._decide(api.Left(run.id))
 
@@ -257,6 +272,7 @@
         if run.answer is None:
             return
         give, run.answer = run.answer, None
+        self._ids.discard(run.query.id)
         self._release(run)
         give(answer)
 
--- a/badgeryoke/execution.py
+++ b/badgeryoke/execution.py
@@ -45,13 +45,14 @@
     retry: bool = False
     key: str = ""
     body: bytes | None = None
+    safe: bool | None = None  # whether it came as safe to repeat; None: its wire does not say
     # A repeat of something another gateway may have run: no attempt may be written after this time.
     send_by_ms: float | None = None
 
 
 def customer_number(digits: bytes) -> int:
     """A customer from its 16 hex digits; raises ValueError."""
-    if len(digits) != 16 or not digits.isalnum():
+    if len(digits) != 16 or not digits.isalnum() or not digits.isascii():
         raise ValueError("customer: expected 16 hex digits")
     number = int.from_bytes(bytes.fromhex(digits.decode("ascii")), "big")
     if number >= 1 << 33:
--- a/badgeryoke/gateway.py
+++ b/badgeryoke/gateway.py
@@ -36,9 +36,13 @@
 COMMAND_S, IDLE_S = 2.0, 20.0
 # Where the bound on connections is reached, the one that has been idle longest gives way, if for this long;
 # one that has not yet said a word gives way sooner, since whoever has something to ask does so at once.
-IDLE_FULL_S, SILENT_FULL_S = 2.0, 0.25
+IDLE_FULL_S, SILENT_FULL_S = 2.0, 0.1
 CLIENT_BUFFER = 128 * 1024  # bound of what is read of a client and not yet taken
-CLIENT_WRITES = 256 * 1024  # and of what it has not yet fetched
+CLIENT_WRITES = 128 * 1024  # and of what it has not yet fetched, ...
+UNREAD_S = 2.5  # ... which it must fetch within this time
+# Of the memory that is left beside the program itself: for bodies of open queries, and for half commands.
+PROGRAM_MB, BODIES_PART, HALVES_PART = 24.0, 0.25, 0.15
+LEAST_MB = 4.0
 # SIGKILL comes no sooner after SIGTERM than the longest deadline, counted as 3 s where it is longer, and
 # 0.7 s more; what was taken in the grace has its whole deadline still.
 KILL_COUNTS_S, KILL_MARGIN_S = 3.0, 0.55
@@ -57,8 +61,9 @@
 class RespFront(TCPServer):
     """Accepts the platform's clients."""
 
-    def __init__(self, core: Core, loop: Turns, most: int, host_group: HostGroup) -> None:
+    def __init__(self, core: Core, loop: Turns, most: int, host_group: HostGroup, most_held: int) -> None:
         super().__init__(max_buffer_size=CLIENT_BUFFER)
+        self._most_held = most_held
         self._core, self._loop, self._most, self._host_group = core, loop, most, host_group
         self.links: dict[ClientLink, None] = {}
         self.leaving = False
@@ -91,14 +96,25 @@
         if worst is None:
             return False
         worst[1].drop()
+        self._closed(worst[1])  # it counts no longer, though its end is still in its mailbox
         return True
 
     def sweep(self) -> None:
         """Close what has been idle, or not come to the end of a command, for too long."""
         now = self._loop.time()
+        held = 0
         for link in list(self.links):
+            held += link.held
             if (now - link.idle_since >= IDLE_S and link.idle) or now - link.begun_at >= COMMAND_S:
                 link.drop()
+            elif now - link.unread_since >= UNREAD_S:
+                link.abort()
+        if held > self._most_held:
+            for link in sorted(self.links, key=lambda link: link.held, reverse=True):
+                held -= link.held
+                link.drop()
+                if held <= self._most_held:
+                    break
         if self._full_logged and len(self.links) < self._most * 3 // 4:
             self._full_logged = False
             log.info("clients are taken again: %d connections are open", len(self.links))
@@ -118,10 +134,12 @@
         self._links: dict[int, tuple[Host, RespServerLink | DiameterServerLink]] = {}
         self._counter = (CounterLink(config.counter, config.settings.counter_timeout_ms, loop, self._clock)
                          if config.counter is not None else None)
+        room = int(max(config.memory_mb - PROGRAM_MB, LEAST_MB) * 1024 * 1024)
         self.core = Core(config.settings, config.seed, loop, self._clock, self._link,
-                         self._counter or NoCounter(loop))
+                         self._counter or NoCounter(loop), int(room * BODIES_PART))
         self._hosts = HostGroup(config.discovery, config.known, loop, self._changed)
-        self._front = RespFront(self.core, loop, int(config.sockets * CLIENT_PART), self._hosts)
+        self._front = RespFront(self.core, loop, int(config.sockets * CLIENT_PART), self._hosts,
+                                int(room * HALVES_PART))
         self._diameter: DiameterFront | None = None
         if (second := config.diameter) is not None:
             address = second.listen[0] if second.listen is not None else "127.0.0.1"
@@ -213,7 +231,8 @@
                 connect_ms=config.connect_ms, idle_ms=config.idle_ms, watchdog_s=second.watchdog_s)
         return RespServerLink(
             host.address, self._loop, self._clock, safe=config.safe, report_names=config.report_names,
-            connect_ms=config.connect_ms, idle_ms=config.idle_ms, most=most)
+            connect_ms=config.connect_ms, idle_ms=config.idle_ms, most=most,
+            most_units=config.settings.max_units)
 
     def _sweep(self) -> None:
         for _, link in self._links.values():
--- a/badgeryoke/resp/client_link.py
+++ b/badgeryoke/resp/client_link.py
@@ -6,20 +6,27 @@
 import contextlib
 import logging
 import math
+import re
 import socket
 from collections import deque
 from collections.abc import Callable
+from typing import TypeVar
 
 from tornado.iostream import IOStream, StreamClosedError
 
 from badgeryoke.actor import READ_CHUNK, Actor, Turns
 from badgeryoke.core import Answer, Core, Refused, Served
 from badgeryoke.execution import Query, customer_number
-from badgeryoke.resp.parser import Parser, Value, bulk, error, pairs
+from badgeryoke.resp.parser import MAX_BULK, Parser, Value, bulk, error, number, pairs, whole_number
 
 log = logging.getLogger("badgeryoke.resp.client")
+N = TypeVar("N", int, float)
 
-COMMANDS = {b"SVC.QUERY", b"SVC.SUBMIT"}
+COMMANDS = {b"SVC.QUERY": True, b"SVC.SUBMIT": False}  # whether for classes that are safe to repeat
+WORD = re.compile(r"[!-+\--~]{1,64}")  # an id or a key: printable, with no blank or comma
+MOST_LISTED = 1024  # bytes of a list of names and values
+MOST_FAULTS = 3  # commands refused as malformed on one connection, after which it is closed
+MOST_MS, MOST_UNITS, MOST_GATEWAYS = 1e7, 1e6, 1_000_000  # the core knows narrower bounds
 LINGER_S = 0.2  # for the client to fetch its last answer and close
 MOST_WAITING = 64  # commands of one connection that wait for their answers; more are not read meanwhile
 PONG, OK = b"+PONG\r\n", b"+OK\r\n"
@@ -29,23 +36,37 @@
     """A query from a command's words; raises ValueError that says what is wrong."""
     if not 4 <= len(words) <= 5 or not all(type(word) is bytes for word in words):
         raise ValueError("expected CUSTOMER ID LIST and at most a body")
-    customer, rid, listed = (bytes(word) for word in words[1:4] if isinstance(word, bytes))
-    if not 0 < len(rid) <= 64:
-        raise ValueError("id of the wrong length")
-    number, given = customer_number(customer), pairs(listed)
+    name, customer, rid, listed = (bytes(word) for word in words[:4] if isinstance(word, bytes))
+    safe = COMMANDS[name.upper()]
+    if len(listed) > MOST_LISTED:
+        raise ValueError("list too long")
+    given = pairs(listed)
+    key, retry = given.get("k", ""), given.get("r", "0")
     try:
         query = Query(
-            id=rid.decode("ascii"), cls=given["c"], plan=given["t"], customer=number,
-            remaining_ms=float(given["d"]), units=float(given["units"]), spread=int(given["spread"]),
-            first=int(given["first"]), retry=given.get("r") == "1", key=given.get("k", ""),
+            id=rid.decode("ascii"), cls=given["c"], plan=given["t"], customer=customer_number(customer),
+            remaining_ms=_field("d", number, given["d"], MOST_MS),
+            units=_field("units", number, given["units"], MOST_UNITS),
+            spread=_field("spread", whole_number, given["spread"], MOST_GATEWAYS),
+            first=_field("first", whole_number, given["first"], MOST_GATEWAYS),
+            retry=retry == "1", key=key, safe=safe,
         )
     except KeyError as missing:
         raise ValueError(f"no {missing.args[0]} in the list") from None
+    if not WORD.fullmatch(query.id) or (key and not WORD.fullmatch(key)) or retry not in ("0", "1"):
+        raise ValueError("id, k or r malformed")
     if len(words) == 5 and isinstance(words[4], bytes):
         query.body = words[4]
     return query
 
 
+def _field(name: str, read: Callable[[str, N], N], text: str, most: N) -> N:
+    try:
+        return read(text, most)
+    except ValueError as fault:
+        raise ValueError(f"{name}: {fault}") from None
+
+
 def encode(answer: Answer) -> bytes:
     """A final answer on this wire."""
     match answer:
@@ -81,23 +102,34 @@
                  closed: Callable[[ClientLink], None]) -> None:
         super().__init__(loop)
         self._stream, self._core, self._ready, self._closed = stream, core, ready, closed
-        self._parser = Parser()
+        self._parser = Parser(max_items=5, max_depth=1, max_total=MAX_BULK + 2 * MOST_LISTED)
+        self._faults = 0
         self._slots: deque[_Slot] = deque()
         self._ending = False  # closes once what was taken is answered
         self._broken = self._finished = False  # nothing that comes then can be taken
         self._room = asyncio.Event()
         self.spoke = False  # a whole command has come
         self.idle_since = loop.time()  # when it last had a command open, or was opened
+        self.unread_since = math.inf  # since when answers wait for the client to fetch them
         self.begun_at = self.idle_since  # since when a command is on its way in, the first from the start
         stream.set_close_callback(lambda: self.post(self._gone))
 
     @property
     def idle(self) -> bool:
         """Whether nothing is open, on its way in or on its way out: the connection may be closed."""
-        if self._slots or self._mail or not self._parser.idle or self._ending:
+        if self._stream.closed() or self._slots or self._mail or not self._parser.idle or self._ending:
             return False
         return not self._stream.writing() and not _unread(self._stream)
 
+    @property
+    def held(self) -> int:
+        """Bytes held of a command that is not whole."""
+        return self._parser.held
+
+    def abort(self) -> None:
+        """Close a connection whose client does not fetch its answers."""
+        self._stream.close()
+
     def drop(self) -> None:
         """Close a connection that is idle, or holds half a command that does not come to its end; one that
         owes answers gives them first."""
@@ -123,6 +155,8 @@
         values = self._parser.feed(data)
         for value in values:
             self._command(value)
+            if self._broken:
+                return  # what comes behind is not looked at: hundreds at once must cost no more than a few
         if self._parser.idle:
             self.spoke, self.begun_at = True, math.inf
         elif values or self.begun_at == math.inf:
@@ -136,7 +170,7 @@
         slot = _Slot()
         self._slots.append(slot)
         if not isinstance(value, list) or not value or not isinstance(value[0], bytes):
-            slot.reply = error("ERR expected an array of bulk strings")
+            self._refuse(slot, "expected an array of bulk strings")
             return
         name = value[0].upper()
         if name in COMMANDS:
@@ -145,7 +179,7 @@
                 if problem := self._core.problem(query):
                     raise ValueError(problem)
             except (ValueError, OverflowError) as fault:
-                slot.reply = error(f"ERR syntax: {fault}")
+                self._refuse(slot, f"syntax: {fault}")
                 return
             slot.left = self._core.submit(query, lambda answer: self.post(self._answered, slot, answer))
         elif name == b"PING":
@@ -153,7 +187,14 @@
         elif name in (b"CLIENT", b"SELECT"):
             slot.reply = OK
         else:
-            slot.reply = error("ERR unknown command")
+            self._refuse(slot, "unknown command")
+
+    def _refuse(self, slot: _Slot, words: str) -> None:
+        """A command that cannot be taken; a client that sends many of them is not listened to any longer."""
+        slot.reply = error(f"ERR {words}")
+        self._faults += 1
+        if self._faults >= MOST_FAULTS:
+            self._broken = self._ending = True
 
     def _answered(self, slot: _Slot, answer: Answer) -> None:
         slot.reply, slot.left = encode(answer), None
@@ -167,7 +208,7 @@
             return
         if out:
             try:
-                self._stream.write(b"".join(part for part in out if part))
+                self._stream.write(b"".join(part for part in out if part)).add_done_callback(self._fetched)
             except StreamClosedError:
                 return
             except Exception as fault:  # the write buffer's bound
@@ -175,11 +216,20 @@
                 self._stream.close()
                 return
         self.idle_since = self._loop.time()
+        if not self._stream.writing():
+            self.unread_since = math.inf
+        elif self.unread_since == math.inf:
+            self.unread_since = self.idle_since
         if len(slots) < MOST_WAITING:
             self._room.set()
         if self._ending and not slots:
             self._finish()
 
+    def _fetched(self, done: asyncio.Future[None]) -> None:
+        """What had been written is out; retrieves the exception of a write that its end cut short."""
+        if not done.cancelled() and done.exception() is None:
+            self.unread_since = math.inf
+
     def _finish(self) -> None:
         """Close, but only our side at first: closed whole with bytes unread, the connection would be reset,
         and the reset could overtake the last answer."""
--- a/badgeryoke/resp/parser.py
+++ b/badgeryoke/resp/parser.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Iterable
 
 MAX_NUMBER = 20  # digits of a number, with its sign
@@ -32,12 +33,13 @@
     """
 
     def __init__(self, max_bulk: int = MAX_BULK, max_items: int = 16, max_depth: int = 2,
-                 max_line: int = 1024) -> None:
+                 max_line: int = 1024, max_total: int = 2 * MAX_BULK) -> None:
         self._max_bulk, self._max_items = max_bulk, max_items
-        self._max_depth, self._max_line = max_depth, max_line
+        self._max_depth, self._max_line, self._max_total = max_depth, max_line, max_total
         self._buffer = bytearray()
         self._bulk: int | None = None  # length of the bulk string that is being read
         self._open: list[tuple[int, list[Value]]] = []  # arrays begun, and how many items each will have
+        self._total = 0  # bytes of bulk strings in the array that is being read
         self._scanned = 0  # bytes of the buffer known to hold no line end
         self.fault = ""
 
@@ -46,6 +48,11 @@
         """Whether nothing has been begun."""
         return not self._buffer and not self._open and self._bulk is None
 
+    @property
+    def held(self) -> int:
+        """Bytes held of what has been begun."""
+        return len(self._buffer) + (self._total if self._open else 0)
+
     def feed(self, data: bytes) -> list[Value]:
         """The values that data completes."""
         whole: list[Value] = []
@@ -55,6 +62,7 @@
             except _ProtocolError as fault:
                 self.fault = str(fault)
                 self._buffer.clear()
+                self._open.clear()
         return whole
 
     def _read(self, data: bytes, whole: list[Value]) -> None:
@@ -83,6 +91,10 @@
                 if kind == b"$":
                     length = self._length(line, self._max_bulk)
                     if length >= 0:
+                        # Bounded as a sum too: many at the bound would be held until the last has come.
+                        self._total = self._total + length if self._open else length
+                        if self._total > self._max_total:
+                            raise _ProtocolError("too large as a whole")
                         self._bulk = length
                         continue
                     value = None
@@ -111,6 +123,7 @@
                 value = items
             else:
                 whole.append(value)
+                self._total = 0
         del buffer[:at]
         self._scanned = max(self._scanned - at, 0)
 
@@ -154,12 +167,30 @@
     return b"-%b\r\n" % " ".join(words.split()).encode("ascii", "replace")
 
 
+NUMBER = re.compile(r"\d{1,12}(\.\d{1,12})?")
+
+
+def number(text: str, most: float) -> float:
+    """A plain decimal number from 0 to most; raises ValueError.  float() would take nan, inf, signs, blanks
+    and underscores besides."""
+    if not NUMBER.fullmatch(text) or float(text) > most:
+        raise ValueError(f"expected a number up to {most:g}")
+    return float(text)
+
+
+def whole_number(text: str, most: int) -> int:
+    """A whole number from 0 to most, in digits alone; raises ValueError."""
+    if not text.isascii() or not text.isdigit() or len(text) > 12 or int(text) > most:
+        raise ValueError(f"expected a whole number up to {most}")
+    return int(text)
+
+
 def pairs(text: bytes) -> dict[str, str]:
-    """A list of names and values, name=value set apart by commas; raises ValueError."""
+    """A list of names and values, name=value set apart by commas, each name once; raises ValueError."""
     found: dict[str, str] = {}
     for part in text.decode("ascii").split(","):
         name, equals, value = part.partition("=")
-        if not equals or not name:
-            raise ValueError("expected name=value")
+        if not equals or not name or name in found:
+            raise ValueError("expected name=value, each name once")
         found[name] = value
     return found
--- a/badgeryoke/resp/server_link.py
+++ b/badgeryoke/resp/server_link.py
@@ -9,18 +9,23 @@
 import asyncio
 import logging
 import math
+import socket
 from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from tornado.iostream import IOStream, StreamClosedError
 
 from badgeryoke.actor import Actor, Turns, new_socket, pump
 from badgeryoke.execution import Execution, Query
-from badgeryoke.resp.parser import ErrorReply, Parser, Value, command, pairs
+from badgeryoke.resp.parser import ErrorReply, Parser, Value, command, number, pairs
 
 log = logging.getLogger("badgeryoke.resp.server")
 
 IDLE_PART = 0.5  # of the settings' idle time a connection is kept: the backend may close it sooner
+REST_MS = 10.0  # a connection is left alone after an answer where another will do: its end may follow
+BEGUN_MS = 250.0  # for the rest of an answer whose first bytes have come: it is written in one piece
+MOST_REPORT, MOST_FIGURE = 256, 1e9  # of a report: its length, and each of its figures
 MOST_OPENING = 8  # connections of one backend on their way up; further attempts wait for these or for others
 
 
@@ -41,37 +46,51 @@
 
 def read_report(text: bytes, names: tuple[str, ...]) -> tuple[float, ...]:
     """The load report in the order of the settings' fields; empty where a field is missing."""
-    given = pairs(text)
-    return tuple(float(given[name]) for name in names) if all(name in given for name in names) else ()
+    given = pairs(text[:MOST_REPORT])
+    if not all(name in given for name in names):
+        return ()
+    return tuple(number(given[name], MOST_FIGURE) for name in names)
 
 
-def settle(execution: Execution, reply: Value, names: tuple[str, ...]) -> str | None:
-    """End an attempt by what came back for it; the result says what was malformed."""
+@dataclass(frozen=True, slots=True)
+class Settled:
+    """What an answer leaves behind: a complaint, and whether its connection can be used any further."""
+
+    complaint: str = ""
+    usable: bool = True
+
+
+def settle(execution: Execution, reply: Value, names: tuple[str, ...], most_units: float) -> Settled:
+    """End an attempt by what came back for it."""
     if isinstance(reply, ErrorReply):
         words = reply.decode("ascii", "replace")
         if words == "BUSY" or words.startswith("BUSY "):
             execution.turned_away(words)
-            return None
+            return Settled()
         execution.error(words)
-        return None if words.startswith("ERR failed") else f"error {words[:80]!r}"
+        return Settled() if words.startswith("ERR failed") else Settled(f"error {words[:80]!r}", False)
     if not isinstance(reply, list) or not 1 <= len(reply) <= 3 or type(reply[0]) is not bytes:
         execution.error("malformed answer")
-        return "answer is not an array that begins with a value"
+        return Settled("answer is not an array that begins with a value", False)
     use, load = ([*reply[1:], None, None])[:2]
+    # Each figure by itself: one that cannot be read is none, and costs neither the other nor the answer.
     cost = 0.0
     report: tuple[float, ...] = ()
-    fault: str | None = None
+    complaint = ""
     try:
         if isinstance(use, bytes):
-            cost = float(pairs(use).get("cost", "0"))
+            cost = number(pairs(use[:MOST_REPORT]).get("cost", "0"), most_units)
+    except ValueError:
+        complaint = "figures on use unreadable"
+    try:
         if isinstance(load, bytes):
             report = read_report(load, names)
-    except (ValueError, OverflowError):
-        fault = "figures on use or load unreadable"
-    if not (math.isfinite(cost) and cost >= 0 and all(map(math.isfinite, report))):
-        cost, report, fault = 0.0, (), "figures on use or load out of range"
+    except ValueError:
+        complaint = "load report unreadable"
+    if not isinstance(use, bytes | None) or not isinstance(load, bytes | None):
+        complaint = "figures on use or load are no strings"
     execution.served(reply[0], cost, report)
-    return fault
+    return Settled(complaint)
 
 
 class _Connection:
@@ -82,6 +101,7 @@
         self.execution: Execution | None = None
         self.used_at = 0.0
         self.up = False
+        self.begun = False  # an answer has come in part
         self.parser = Parser(max_items=8)
         self.stream = IOStream(new_socket(address), max_buffer_size=256 * 1024)
         self.stream.set_close_callback(lambda: owner.post(owner.closed, self))
@@ -102,9 +122,10 @@
 
     def __init__(self, address: tuple[str, int], loop: Turns, clock: Callable[[], float], *,
                  safe: frozenset[str], report_names: tuple[str, ...], connect_ms: float, idle_ms: float,
-                 most: int) -> None:
+                 most: int, most_units: float = MOST_FIGURE) -> None:
         super().__init__(loop)
         self.address = address
+        self._most_units = most_units
         self._clock, self._safe, self._names = clock, safe, report_names
         self._connect_ms, self._idle_ms, self._most = connect_ms, idle_ms * IDLE_PART, most
         self._idle: list[_Connection] = []
@@ -122,14 +143,37 @@
         if self._closed:
             execution.lost("server is gone")
             return
-        if self._idle:
-            self._write(self._idle.pop(), execution)
+        if (connection := self._rested()) is not None:
+            self._write(connection, execution)
             return
         self._waiting.append(execution)
         execution.on_abandon = lambda: self.post(self._unmet, execution)
         self._loop.call_later(self._connect_ms / 1000.0, self.deliver, self._unmet, execution)
         self._open()
 
+    def _rested(self) -> _Connection | None:
+        """An idle connection that is sound: the last used, but for those whose answer has only just come.
+
+        What lies unread in one belongs to no attempt: a second copy of the last answer would be taken for the
+        next one, and at its end the attempt would be lost though it may have run.
+        """
+        before = self._clock() - REST_MS
+        while self._idle:
+            place = next((n for n in reversed(range(len(self._idle))) if self._idle[n].used_at <= before), 0)
+            connection = self._idle.pop(place)
+            try:
+                unread = connection.stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+            except BlockingIOError:
+                if not connection.stream.closed():
+                    return connection
+                continue
+            except (OSError, AttributeError):  # broken, or closed with its end in the mailbox
+                unread = b""
+            if unread:
+                self._complain("answered what nobody asked")
+            connection.stream.close()
+        return None
+
     def _open(self) -> None:
         """As many connections as there are attempts waiting, within the bounds."""
         while self._opening < min(len(self._waiting), MOST_OPENING) and len(self._all) < self._most:
@@ -166,19 +210,18 @@
         if self._closed:
             connection.stream.close()
             return
-        while self._waiting:
-            execution = self._waiting.popleft()
-            if not execution.ended:
-                self._write(connection, execution)
-                return
         connection.used_at = self._clock()
         self._idle.append(connection)
+        while self._waiting and (sound := self._rested()) is not None:
+            execution = self._waiting.popleft()
+            if execution.ended:
+                self._idle.append(sound)
+            else:
+                self._write(sound, execution)
 
     def _write(self, connection: _Connection, execution: Execution) -> None:
         now = self._clock()
-        if connection.stream.closed():
-            self._start(execution)  # its end is in the mailbox
-            return
+        connection.begun = False
         if not execution.may_be_written(now):
             execution.moot("too late to be sent")
             self._free(connection)
@@ -195,25 +238,45 @@
             future.add_done_callback(lambda done: None if done.exception() else execution.written())
 
     def arrived(self, connection: _Connection, data: bytes) -> None:
-        """Bytes of an answer."""
-        execution = connection.execution
-        values = connection.parser.feed(data)
-        if connection.parser.fault:
-            self._complain(f"broke the protocol: {connection.parser.fault}")
-            if execution is not None:
-                execution.error("malformed answer")
-            connection.stream.close()
-            return
-        if not values:
+        """Bytes of an answer.  The first whole value is the attempt's; with anything behind it, and where the
+        answer is spoilt, the connection is of no more use: what comes on it belongs to nobody knows what."""
+        if connection not in self._all:
             return
-        if execution is None or len(values) > 1 or not connection.parser.idle:
+        execution, parser = connection.execution, connection.parser
+        values = parser.feed(data)
+        if execution is None:
             self._complain("answered what nobody asked")
             connection.stream.close()
-            return
+        elif values:
+            connection.execution = execution.on_abandon = None
+            connection.begun = False
+            settled = settle(execution, values[0], self._names, self._most_units)
+            if settled.complaint:
+                self._complain(settled.complaint)
+            if len(values) > 1 or not parser.idle or parser.fault:
+                self._complain("brought more than its answer")
+                connection.stream.close()
+            elif settled.usable:
+                self._free(connection)
+            else:
+                connection.stream.close()
+        elif parser.fault:
+            self._spoilt(connection, execution, f"broke the protocol: {parser.fault}")
+        elif not connection.begun:
+            connection.begun = True
+            self._loop.call_later(BEGUN_MS / 1000.0, self.deliver, self._unended, connection, execution)
+
+    def _unended(self, connection: _Connection, execution: Execution) -> None:
+        """The rest of an answer has not come: a length that does not fit, or a value that has no end."""
+        if connection.begun and connection.execution is execution:
+            self._spoilt(connection, execution, "began an answer and did not end it")
+
+    def _spoilt(self, connection: _Connection, execution: Execution, text: str) -> None:
+        """An answer that cannot be read: it may have run, and the connection is done with."""
+        self._complain(text)
         connection.execution = execution.on_abandon = None
-        if fault_text := settle(execution, values[0], self._names):
-            self._complain(fault_text)
-        self._free(connection)
+        execution.error("malformed answer")
+        connection.stream.close()
 
     def _abandoned(self, connection: _Connection, execution: Execution) -> None:
         """Nobody waits any more: closing the connection ends the attempt at the backend."""
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -84,9 +84,12 @@
         self.core = Core(made, 1, Turns(self.loop), self.loop.clock, lambda _: self.link, NoCounter())
         self.core.members(api.Members(api.Scope.FULL, (api.Server(1, "a", "std", 0, api.State.UP),)))
         self.answers: list[Answer] = []
+        self.asked = 0
 
     def ask(self, cls: str = "balance-check", d: float = 2000.0, **more: Any) -> Callable[[], None]:
-        left = self.core.submit(Query("r", cls, "free", 5, d, 1.0, 1, **more), self.answers.append)
+        self.asked += 1
+        asked = Query(f"r{self.asked}", cls, "free", 5, d, 1.0, 1, **more)
+        left = self.core.submit(asked, self.answers.append)
         self.loop.run()
         return left
 
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -313,7 +313,8 @@
                           lambda: True, lambda _: None)
         serving = asyncio.ensure_future(link.serve())
         _, writer = await asyncio.open_connection(sock=theirs)
-        writer.write(query(body="x" * 30_000) * 2 * MOST_WAITING)  # a reading brings two or three
+        # A reading brings two or three.
+        writer.write(query(cls="load-send", key="k", body="x" * 30_000) * 2 * MOST_WAITING)
         while core.taken < MOST_WAITING:
             await asyncio.sleep(0)
         for _ in range(1000):
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import math
 import os
 import signal
 import socket
@@ -18,7 +19,10 @@
 
 from badgeryoke import gateway as gateway_module
 from badgeryoke.config import Config, ConfigError
+from badgeryoke.execution import End, Execution, Query
 from badgeryoke.gateway import App
+from badgeryoke.resp.client_link import MOST_FAULTS
+from badgeryoke.resp.server_link import RespServerLink, settle
 from martenstep.interface import Verdict
 from tests.standins import (
     HOST,
@@ -217,6 +221,23 @@
     play(test)
 
 
+def test_a_connection_whose_end_is_in_the_mailbox_is_not_looked_at(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Looking for unread bytes in it raised, and the newcomer's connection was left hanging."""
+    monkeypatch.setattr(gateway_module, "CLIENT_PART", 1 / 1024)
+    monkeypatch.setattr(gateway_module, "SILENT_FULL_S", 0.0)
+
+    async def test() -> None:
+        async with one_gateway() as (app, _, _):
+            _, writer = await connect(app.address)
+            await until(lambda: app._front.links)
+            [link] = app._front.links
+            link.abort()
+            assert not link.idle
+            writer.close()
+
+    play(test)
+
+
 def test_a_connection_that_is_used_or_young_is_kept() -> None:
     async def test() -> None:
         async with one_gateway() as (app, _, _):
@@ -230,4 +251,180 @@
     play(test)
 
 
+MALFORMED = {
+    "units that are no number": ("units=1", "units=nan"), "units with an exponent": ("units=1", "units=1e0"),
+    "negative units": ("units=1", "units=-1"), "no units": ("units=1", "units=0"),
+    "more units than counted": ("units=1", "units=7"), "an endless set": ("spread=2", "spread=inf"),
+    "a set of none": ("spread=2", "spread=0"), "a set of more than there are": ("spread=2", "spread=3"),
+    "a set with an underscore": ("spread=2", "spread=0_2"), "a set from nowhere": ("first=0", "first=2"),
+    "a deadline that is no number": ("d=60000", "d=soon"), "a deadline of nan": ("d=60000", "d=nan"),
+    "a deadline past the class's": ("d=60000", "d=70000"), "no time": ("d=60000", "d=0"),
+    "a name twice": ("units=1", "units=1,units=1"), "a name left out": ("units=1,", ""),
+    "a retry mark of another form": ("units=1", "units=1,r=2"),
+    "a key with blanks": ("units=1", "units=1,k=a b"),
+    "another class's command": ("SVC.QUERY", "SVC.SUBMIT"), "no id": ("\r\nr1\r\n", "\r\n\r\n"),
+    "an id with a line end": ("\r\nr1\r\n", "\r\nr\r\n\r\n"),
+}
+
+
+def reworded(old: str, new: str) -> bytes:
+    """The usual query with a part of it replaced, and its lengths put right."""
+    text = "SVC.QUERY|0000000000000005|\r\nr1\r\n|c=balance-check,t=dealer,d=60000,units=1,spread=2,first=0"
+    assert old in text
+    words = text.replace(old, new).split("|")
+    words[2] = words[2][2:-2]
+    return resp(*words)
+
+
+def test_a_field_out_of_bounds_is_an_error_and_reaches_no_server() -> None:
+    async def test() -> None:
+        async with one_gateway() as (app, node, _):
+            for case, (old, new) in MALFORMED.items():
+                [answer] = await ask(app, reworded(old, new))
+                assert str(answer).startswith("-ERR "), case
+            assert await ask(app, reworded("r1", "r1")) == [b"value"]
+            assert len(node.commands) == 1
+
+    play(test)
+
+
+def test_a_client_that_sends_one_malformed_command_after_another_is_closed() -> None:
+    async def test() -> None:
+        async with one_gateway() as (app, node, _):
+            reader, writer = await connect(app.address)
+            writer.write(query(cls="lottery") * 500 + query())
+            answers = (await reader.read()).split(b"\r\n")
+            assert len(answers) - 1 == MOST_FAULTS and all(a[:4] == b"-ERR" for a in answers[:-1])
+            assert not node.commands
+            writer.close()
+
+    play(test)
+
+
+def test_the_id_of_an_open_request_is_an_error_and_costs_the_open_one_nothing() -> None:
+    """Sent on, it would have been taken by the server for a copy of the other client's request."""
 
+    async def test() -> None:
+        async with one_gateway(script=[None]) as (app, node, _):
+            reader, writer = await connect(app.address)
+            writer.write(query("mine"))
+            await node.books.arrived.wait()
+            [answer] = await ask(app, query("mine", customer=6))
+            assert str(answer).startswith("-ERR") and len(node.commands) == 1
+            node.writers[0].write(b"*1\r\n$4\r\nkept\r\n")
+            assert await read_reply(reader) == b"kept"
+            assert await ask(app, query("mine")) == [b"value"]  # it is closed now
+
+    play(test)
+
+
+def test_a_command_is_bounded_as_a_whole() -> None:
+    """Five strings at the bound of one would be held for each connection."""
+
+    async def test() -> None:
+        async with one_gateway() as (app, _, _):
+            reader, writer = await connect(app.address)
+            writer.write(b"*5\r\n" + 2 * (b"$60000\r\n" + b"x" * 60_000 + b"\r\n"))
+            assert (await reader.read()).startswith(b"-ERR protocol: too large")
+
+    play(test)
+
+
+def test_half_commands_are_bounded_over_all_connections(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(gateway_module, "HALVES_PART", 0.0)
+
+    async def test() -> None:
+        async with one_gateway() as (app, _, _):
+            reader, writer = await connect(app.address)
+            writer.write(resp("PING", "x" * 1000)[:-10])
+            assert await reader.read() == b""
+
+    play(test)
+
+
+def test_a_client_that_does_not_fetch_its_answers_is_closed(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(gateway_module, "UNREAD_S", 0.3)
+    value = b"*1\r\n" + resp("v" * 65_000)[4:]
+
+    async def test() -> None:
+        async with one_gateway(script=[value]) as (app, _, _):
+            with socket.socket() as client:
+                client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+                client.connect(app.address)  # into the backlog: nothing is accepted while this waits
+                await until(lambda: app._front.links)
+                [link] = app._front.links
+                link._stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+                client.sendall(query())
+                await until(lambda: link.unread_since < math.inf)
+                await until(lambda: not app._front.links)
+
+    play(test)
+
+
+# Servers ----------------------------------------------------------------------------------------------
+
+GOOD = b"*3\r\n$4\r\ngood\r\n$6\r\ncost=2\r\n$23\r\nlatency_ms=9,inflight=1\r\n"
+
+
+@pytest.mark.parametrize("extra", [GOOD, b"noise", b"noise\r\n", b"*1\r\n$4\r\nhalf", b"\0\xff\r\n$"])
+def test_a_good_answer_with_more_behind_it_counts_and_the_rest_reaches_nobody(extra: bytes) -> None:
+    """Such an answer was thrown away with its connection, and the request run once more."""
+
+    async def test() -> None:
+        async with one_gateway(script=[GOOD + extra]) as (app, node, _):
+            assert await ask(app, query("r1", "load-send", key="1" * 16)) == [b"good"]
+            assert await ask(app, query("r2")) == [b"value"]
+            assert len(node.commands) == 2 and node.connections == 2
+
+    play(test)
+
+
+def test_what_comes_on_an_idle_connection_is_not_the_next_answer() -> None:
+    async def test() -> None:
+        async with one_gateway(script=[GOOD]) as (app, node, _):
+            reader, writer = await connect(app.address)
+            writer.write(query("r1"))
+            assert await read_reply(reader) == b"good"
+            # A second copy, sent so that the gateway has not read it when the next query comes.
+            raw = node.writers[0].get_extra_info("socket")
+            os.write(raw.fileno(), GOOD)
+            link = next(iter(app._links.values()))[1]
+            assert isinstance(link, RespServerLink)
+            assert link._rested() is None
+            writer.write(query("r2"))
+            assert await read_reply(reader) == b"value"
+
+    play(test)
+
+
+@pytest.mark.parametrize("answer", [
+    b":5\r\n", b"$4\r\ngood\r\n", b"*0\r\n", b"-SYNTAX\r\n", b"+OK\r\n", b"*1\r\n:5\r\n",
+    b"noise without an end", b"*1\r\n$3000000000\r\nvvvv", b"*1\r\n$-7\r\n", 
+    b"*1\r\n$2\r\ngood\r\n", b"*1\r\n$40\r\ngood\r\n",
+])
+def test_a_spoilt_answer_may_have_run_and_ends_its_connection(answer: bytes) -> None:
+    """A connection was used on after an answer that was no array, and after an unknown error."""
+
+    async def test() -> None:
+        async with one_gateway(script=[answer]) as (app, node, _):
+            assert await ask(app, query()) == [b"value"]
+            assert len(node.commands) == 2 and node.connections == 2
+
+    play(test)
+
+
+@pytest.mark.parametrize(("use", "load", "units", "report"), [
+    (b"used=1,cost=3", b"latency_ms=9,inflight=1", 3.0, (9.0, 1.0)),
+    (b"cost=x", b"latency_ms=9,inflight=1", 0.0, (9.0, 1.0)), (b"cost=nan", None, 0.0, ()),
+    (b"cost=-3", None, 0.0, ()), (b"cost=1e300", None, 0.0, ()), (b"cost=3", b"latency_ms=inf", 3.0, ()),
+    (b"cost=3", b"???", 3.0, ()), (b"cost=7", None, 0.0, ()), (7, b"latency_ms=9,inflight=-1", 0.0, ()),
+])
+def test_a_figure_that_cannot_be_read_is_no_figure(use: Any, load: Any, units: float, report: Any) -> None:
+    """One unreadable figure cost the other too; one out of range was booked on the customer."""
+    ends: list[End] = []
+    asked = Query("r", "c", "p", 1, 1.0, 1.0, 1)
+    execution = Execution(asked, 0, 1, 0.0, 1.0, lambda _, end: ends.append(end))
+    execution.written()
+    assert settle(execution, [b"good", use, load], ("latency_ms", "inflight"), 6.0).usable
+    [end] = ends
+    assert (end.verdict, end.value, end.true_units, end.report) == (Verdict.OK, b"good", units, report)
