Let a lowered limit come back with quick answers; expect cold servers to be slow

A trace of 14,141 outcomes: in a server's first 4 s the p99 is 416 ms, later 274 to 339 ms, and most of the servers are cold at any time.

Checked and ruled out: the limit's part (10 to 13 for 3 to 6 out), CPU, connections (3 connect failures), the load reports (the time hardly rises up to 6 in flight). At fault: Fleet.outcome takes 0.5 off for each answer while answers are slow and gives back only where the limit is met; Fleet._expect took a server never heard of for as quick as the others, and COLD_SAFETY gave it half as much again as its part of the usual load.

--- a/martenstep/decide.py
+++ b/martenstep/decide.py
@@ -62,12 +62,13 @@
 SILENT_TIMES = 4.0  # no answer for this many expected latencies is silence
 SILENT_OF_POOL = 0.75  # of the latency over all servers is expected at least: few answers tell of each
 SILENT_OF_AIM = 0.35  # and no less than this part of the aim, so that one long request is not silence
-COLD_SAFETY = 0.5  # part of a cold server's budget that is used: its size and the others' use are guesses
+COLD_SAFETY = 0.3  # part of a cold server's budget that is used: its size and the others' use are guesses
 COLD_LEAST = 1.0  # sends of all gateways per fall window to a cold server while no usual load is known
 # Requests
 POOL_GAIN = 0.2  # weight of one answer in the latency of all servers together
 LIMIT_START = 6.0  # attempts out at a server, of all gateways together, before answers tell what it bears
 LIMIT_SPARE = 1.0  # and at a gateway above its share: arrivals are uneven; hundreds of them fill a fleet
+LIMIT_BACK = 0.05  # given back for each quick answer, up to the spare: a stall must not be felt for minutes
 LIMIT_DOWN = 0.5  # taken off for each answer while the latency is over the target
 CALM_OF_AIM = 0.42  # latency over all servers, in parts of each class's aim, up to which they count as quick
 BLUR_CALM = 0.65  # of it is taken off where servers are chosen by chance alone
@@ -442,7 +443,7 @@
         """Latency without a queue, and the queue's delay; news of a queue fades, lest a server be shunned for
         a queue that is long gone."""
         if not peer.base:
-            return self._mean / max(peer.info.size, 0.1), 0.0
+            return self._mean / max(peer.info.size, 0.1) / self._warm_part(now, peer), 0.0
         queue = max(peer.latency - peer.base, 0.0)
         queue *= math.exp((peer.timed - now) / max(QUEUE_TAU_MS, QUEUE_TIMES * queue))
         # What is out there tells before it is answered.
@@ -453,13 +454,19 @@
         usual = max(sum(self._expect(now, self._peers[peer_id])), SILENT_OF_POOL * self._latency * aim)
         return max(SILENT_TIMES * usual, SILENT_OF_AIM * aim)
 
-    def _cold_gap(self, now: float, peer: Peer) -> float:
-        """The least time between sends to a server that is cold; 0 for a warm one."""
+    def _warm_part(self, now: float, peer: Peer) -> float:
+        """The least part of its capacity that a server has by now."""
         s = self._settings
         age = now - peer.info.started_ms
         if peer.info.started_ms <= 0 or age >= s.warm_within_ms:
+            return 1.0
+        return s.cold_from + (1 - s.cold_from) * max(age, 0.0) / s.warm_within_ms
+
+    def _cold_gap(self, now: float, peer: Peer) -> float:
+        """The least time between sends to a server that is cold; 0 for a warm one."""
+        s, part = self._settings, self._warm_part(now, peer)
+        if part >= 1.0:
             return 0.0
-        part = s.cold_from + (1 - s.cold_from) * max(age, 0.0) / s.warm_within_ms
         usual = self.send_rate(now) / max(1, len(self._up))
         least = COLD_LEAST / max(s.fall_window_ms, SECOND_MS) / s.gateways
         return 1 / max(COLD_SAFETY * s.fall_multiple * part * usual, least)
@@ -542,6 +549,8 @@
                 self._more = max(self._more - LIMIT_DOWN, -self._part() / 2)
             elif self._out + 1 >= limit:  # only a limit that was reached is known to be borne
                 self._more += 1 / max(limit, 1.0)
+            elif self._more < LIMIT_SPARE:  # one that slow answers took off comes back with quick ones
+                self._more += LIMIT_BACK
             self._mean += (BASE_GAIN_DOWN if rtt < self._mean else BASE_GAIN_UP) / 2 * (rtt - self._mean)
         elif event.verdict is Verdict.FULL:
             # Its answer comes at once: without this a full server would look idle and draw all traffic.
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -311,3 +311,28 @@
             else:
                 made.handle(now + 3, outcome(send, api.Verdict.CONNECT_FAILED, rtt=3.0))
     assert good >= 50
+
+
+def test_a_limit_that_slow_answers_took_off_comes_back_with_quick_ones() -> None:
+    """It came back only through answers that met it: minutes of refusals followed a stall of a second."""
+    made = free()
+    now = START
+    for n in range(60):
+        for send in sends(made, now, request(f"s{n}")):
+            made.handle(now + 900, outcome(send, api.Verdict.OK, rtt=900.0))
+        now += 3000  # the breaker is half open: one goes
+    low = made._fleet._more
+    for n in range(400):
+        for send in sends(made, now, request(f"q{n}")):
+            made.handle(now + 10, outcome(send, api.Verdict.OK, rtt=10.0))
+        now += 20
+    assert low < 0 <= made._fleet._more
+
+
+def test_a_cold_server_is_expected_to_be_slow_until_it_is_warm() -> None:
+    """Unseen, it was taken to be as quick as the others, and its first requests came late."""
+    cold, warm = server(2, started=START - 1.0), server(1)
+    made = free(servers=[warm, cold])
+    at = {n: sum(made._fleet._expect(START, made._fleet._peers[n])) for n in (1, 2)}
+    assert at[2] == pytest.approx(at[1] / SETTINGS.cold_from, rel=0.01)
+    assert sum(made._fleet._expect(START + 10_000, made._fleet._peers[2])) == pytest.approx(at[1])
