Try guessed jams again, learn whether overtaken attempts are lost, tell times in aims

A trace of what the gateway believes beside what servers reported: all servers held to have 300 to 1,600 ms of queue with none or one attempt out, while their reports said 0 to 3 in flight. Ruled out: quotas (the refusals are "fit"), real load, connections.

Changed: a guess gives way to the first measure; a server not sent to for one aim is tried; overtaken attempts tell of no queue, and are given up where those waited for (one in seven) proved lost, but never by that before; times are told in aims. A limit comes back by 0.03 an answer (0.05 before). Also an answer begun has 50 ms.

--- a/badgeryoke/resp/server_link.py
+++ b/badgeryoke/resp/server_link.py
@@ -24,7 +24,7 @@
 
 IDLE_PART = 0.5  # of the settings' idle time a connection is kept: the backend may close it sooner
 REST_MS = 10.0  # a connection is left alone after an answer where another will do: its end may follow
-BEGUN_MS = 250.0  # for the rest of an answer whose first bytes have come: it is written in one piece
+BEGUN_MS = 50.0  # for the rest of an answer whose first bytes have come: it is written in one piece
 MOST_REPORT, MOST_FIGURE = 256, 1e9  # of a report: its length, and each of its figures
 MOST_OPENING = 8  # connections of one backend on their way up; further attempts wait for these or for others
 
--- a/martenstep/decide.py
+++ b/martenstep/decide.py
@@ -45,14 +45,14 @@
 BASE_GAIN_DOWN = 0.1  # an answer below the base latency pulls it down by this, ...
 BASE_GAIN_UP = 0.02  # ... one above it lifts it by this: it settles where few answers come sooner
 BASE_PRIOR = 3.0  # answers that the first guess of a base latency weighs as much as
-QUEUE_TAU_MS = 1000.0  # how fast news of a queue fades, and ...
+QUEUE_TAU = 2.5  # aims: how fast news of a queue fades, and ...
 QUEUE_TIMES = 3.0  # ... in this many times its length: a long one is worked off while others still add to it
 RATE_TAU_MS = 3000.0  # memory of the own send rate, long against a tick and short against a ramp
 GUESS_OF_AIM = 0.12  # an unseen server is taken to answer in this part of the shortest aim
 OTHER_ZONE = 1.06  # a server elsewhere must be this much quicker to be worth the crossing
 BLUR_LEAST = 0.05  # the choice is by chance at least so much, so that gateways do not move in step
-INFORMED = 1.0  # own sends to a server in QUEUE_TAU_MS that tell of its queue; with fewer, chance decides
-NEAR_MS = 1500.0  # a gateway keeps to as many servers as it sends to in this time: it hears of each so often
+INFORMED = 1.0  # own sends to a server in QUEUE_TAU that tell of its queue; with fewer, chance decides
+NEAR = 3.75  # aims: a gateway keeps to as many servers as it sends to in this time, so as to hear of each
 NEAR_LEAST = 3.0  # and to no fewer: with two, one that jams leaves no choice
 TURN_CHANCE = 0.05  # of a choice, that the dearest of them gives way to one not met lately
 CONNECTED_MS = 10_000.0  # a server that answered within this is taken to hold a connection still
@@ -60,19 +60,25 @@
 FAIL_TAU_MS = 5000.0  # how fast failures are forgotten, so that a server is tried again
 FAIL_COST = 6.0  # a server that always fails costs this many times more than a sound one
 SILENT_TIMES = 4.0  # no answer for this many expected latencies is silence
+LOOK_AGAIN = 0.5  # of that time later it is looked at again, if it is not given up
 SILENT_OF_POOL = 0.75  # of the latency over all servers is expected at least: few answers tell of each
 SILENT_OF_AIM = 0.35  # and no less than this part of the aim, so that one long request is not silence
+OVERTAKEN = 3  # last answers of a server: what was sent before all of them is lost, or a long request, ...
+LOST_GAIN = 0.2  # ... which is learnt from how those end that are waited for, ...
+LOST_WAITED = 0.15  # ... this part of them even where most are lost
+LOST_MOST = 0.8  # share of them lost from which the others are given up
 COLD_SAFETY = 0.3  # part of a cold server's budget that is used: its size and the others' use are guesses
 COLD_LEAST = 1.0  # sends of all gateways per fall window to a cold server while no usual load is known
 # Requests
 POOL_GAIN = 0.2  # weight of one answer in the latency of all servers together
 LIMIT_START = 6.0  # attempts out at a server, of all gateways together, before answers tell what it bears
 LIMIT_SPARE = 1.0  # and at a gateway above its share: arrivals are uneven; hundreds of them fill a fleet
-LIMIT_BACK = 0.05  # given back for each quick answer, up to the spare: a stall must not be felt for minutes
+LIMIT_BACK = 0.03  # given back for each quick answer, up to the spare: a stall must not be felt for minutes
 LIMIT_DOWN = 0.5  # taken off for each answer while the latency is over the target
 CALM_OF_AIM = 0.42  # latency over all servers, in parts of each class's aim, up to which they count as quick
 BLUR_CALM = 0.65  # of it is taken off where servers are chosen by chance alone
-HALF_OPEN_MS = 2000.0  # without a send, one goes though answers were slow: else a recovery is never seen
+HALF_OPEN = 5.0  # aims without a send, after which one goes though answers were slow: to see a recovery
+TRIAL = 1.0  # aims without a send to a server after which its queue is believed only on trial
 FIT_OF_AIM = 0.75  # a send must be expected to end within this part of the aim that is left
 OPEN_WAIT_MS = 100.0  # retry-after where the plan's limit of attempts out is reached: about one answer
 BEYOND_FIT = 0.25  # and a send beyond the quota within this one: only an idle back end has room for it
@@ -347,10 +353,18 @@
         self.out: dict[tuple[str, int], float] = {}  # attempts out, and since when
         self.base = 0.0  # latency with no queue: follows low answers fast and high ones slowly; 0: unknown
         self.latency, self.timed = 0.0, -math.inf  # EWMA, and when it was last measured
+        self.guessed = False  # it was not measured, but taken from how long nothing came
+        self.sent = -math.inf  # when last
+        self.recent: list[float] = []  # when those were sent that were answered last
         self.failing, self.failed = 0.0, -math.inf  # EWMA of failures, and when it last moved
         self.answered, self.answers = -math.inf, 0  # when last, and how many good ones
         self.cold_tat: float | None = None  # no send before this while cold; None: not thought of yet
 
+    def overtook(self) -> float:
+        """What was sent before this and is out still was overtaken by all of the last answers: its connection
+        or its answer is lost, or it is one long request."""
+        return min(self.recent) if len(self.recent) == OVERTAKEN else -math.inf
+
     def failures(self, now: float) -> float:
         """Share of attempts that fail, as far as it is not forgotten."""
         return self.failing * math.exp((self.failed - now) / FAIL_TAU_MS)
@@ -374,6 +388,7 @@
         self._began = math.inf  # time of the first send
         self._latency = GUESS_OF_AIM  # EWMA over the answers of all servers, in parts of the class's aim
         self._out = 0  # attempts out at all servers, and ...
+        self._lost = 0.0  # EWMA share of overtaken attempts that were never answered
         self._unmet = 0.0  # EWMA share of attempts that got no connection
         self._more = LIMIT_SPARE  # ... how many more than its part this gateway may have
 
@@ -416,11 +431,11 @@
 
     def _width(self, now: float) -> float:
         """How many servers this gateway keeps to."""
-        return max(self._pace(now) * NEAR_MS, NEAR_LEAST)
+        return max(self._pace(now) * NEAR * self._aim, NEAR_LEAST)
 
     def _blur(self, now: float) -> float:
         """Part of the choice that is by chance: 1 where nothing is known of the servers' queues."""
-        seen = self._pace(now) * QUEUE_TAU_MS / max(1, min(self._width(now), len(self._up)))
+        seen = self._pace(now) * QUEUE_TAU * self._aim / max(1, min(self._width(now), len(self._up)))
         return max(1 - seen / INFORMED, BLUR_LEAST)
 
     def calm(self, now: float) -> bool:
@@ -433,7 +448,7 @@
 
     def idle(self, now: float) -> bool:
         """Whether nothing was sent for so long that nothing new can be learnt: the breaker is half open."""
-        return now - self._sent_at > HALF_OPEN_MS
+        return now - self._sent_at > HALF_OPEN * self._aim
 
     def crowded(self) -> bool:
         """Whether all is out that may be, over all servers: one at each is hundreds over all gateways."""
@@ -445,9 +460,12 @@
         if not peer.base:
             return self._mean / max(peer.info.size, 0.1) / self._warm_part(now, peer), 0.0
         queue = max(peer.latency - peer.base, 0.0)
-        queue *= math.exp((peer.timed - now) / max(QUEUE_TAU_MS, QUEUE_TIMES * queue))
+        queue *= math.exp((peer.timed - now) / max(QUEUE_TAU * self._aim, QUEUE_TIMES * queue))
         # What is out there tells before it is answered.
-        return peer.base, max(queue, now - min(peer.out.values(), default=now) - peer.base)
+        # What any later one overtook is long or lost, and tells nothing of the queue.
+        since = max(peer.recent, default=-math.inf)
+        oldest = min((sent for sent in peer.out.values() if sent >= since), default=now)
+        return peer.base, max(queue, now - oldest - peer.base)
 
     def patience(self, now: float, peer_id: int, aim: float) -> float:
         """How long without an answer is silence."""
@@ -514,10 +532,16 @@
             self._step_back(now, worst[1])
         return None if best is None else (best[1].info, sum(self._expect(now, best[1])))
 
+    def trial(self, now: float, server: int) -> bool:
+        """Whether a queue that would be too long is to be tried again: it is only held to be there, and where
+        all servers are held to be jammed, nothing else would ever tell that they are not."""
+        peer = self._peers[server]
+        return now - peer.sent >= TRIAL * self._aim
+
     def sent(self, now: float, server: int, key: tuple[str, int]) -> None:
         """Book a send."""
         peer = self._peers[server]
-        peer.out[key] = now
+        peer.out[key] = peer.sent = now
         self._out += 1
         self._sent = self._sent * math.exp(-(now - self._sent_at) / RATE_TAU_MS) + 1
         self._sent_at, self._began = now, min(self._began, now)
@@ -529,11 +553,14 @@
         self._out -= 1
         if peer is None:
             return
-        peer.out.pop((event.id, event.attempt), None)
+        sent = peer.out.pop((event.id, event.attempt), now)
         bad = event.verdict not in (Verdict.OK, Verdict.MOOT, Verdict.CANCELLED)
         self._unmet += POOL_GAIN * ((event.verdict is Verdict.CONNECT_FAILED) - self._unmet)
+        if event.verdict in (Verdict.OK, Verdict.TIMEOUT) and sent < peer.overtook():
+            self._lost += LOST_GAIN * ((event.verdict is Verdict.TIMEOUT) - self._lost)
         if event.verdict in (Verdict.OK, Verdict.ERROR, Verdict.FULL):
             peer.answered = now
+            peer.recent = [*peer.recent[1 - OVERTAKEN:], sent]
         if event.verdict is Verdict.OK:
             rtt = event.rtt_ms
             if not peer.base:
@@ -541,7 +568,10 @@
             gain = BASE_GAIN_DOWN if rtt < peer.base else BASE_GAIN_UP
             peer.base += max(gain, 1 / (peer.answers + BASE_PRIOR)) * (rtt - peer.base)
             peer.answers += 1
-            peer.latency += EWMA_GAIN * (rtt - peer.latency)
+            # A guess gives way to the first measure: mixed in bit by bit, it would keep a server out that is
+            # asked too seldom to bring so many answers.
+            peer.latency += (1.0 if peer.guessed else EWMA_GAIN) * (rtt - peer.latency)
+            peer.guessed = False
             peer.timed = now
             self._latency += POOL_GAIN * (min(rtt / aim, 1.0) - self._latency)
             limit = self._part() + self._more
@@ -565,6 +595,15 @@
             if bad:
                 self._step_back(now, peer)
 
+    def lost(self, now: float, server: int, key: tuple[str, int]) -> bool:
+        """Whether a server answers, but not this attempt, where such are mostly lost.  It counts as a failure
+        and not as a queue.  Covers connections that fall silent; harms where long requests begin to come."""
+        peer = self._peers.get(server)
+        if peer is None or self._lost < LOST_MOST or peer.out.get(key, now) >= peer.overtook():
+            return False
+        peer.judge(now, True)
+        return True
+
     def silent(self, now: float, server: int, key: tuple[str, int], patience: float) -> bool:
         """Whether nothing has come from a server for so long that an attempt there is given up."""
         peer = self._peers.get(server)
@@ -577,7 +616,9 @@
 
     def _jammed(self, now: float, peer: Peer, waited: float) -> None:
         """No answer in time: the queue is this long at least, and work given up may still be in it."""
-        peer.latency, peer.timed = max(peer.latency, waited), now
+        if waited >= peer.latency:
+            peer.latency, peer.guessed = waited, True
+        peer.timed = now
 
 
 # Requests ---------------------------------------------------------------------------------------------
@@ -586,10 +627,11 @@
 class Job:
     """One request from its arrival to its final answer."""
 
-    def __init__(self, request: Request, cls: RequestClass, ledger: Ledger, now: float) -> None:
+    def __init__(self, request: Request, cls: RequestClass, ledger: Ledger, now: float, hasty: bool) -> None:
         self.request, self.cls, self.ledger = request, cls, ledger
         self.arrived, self.deadline = now, now + request.remaining_ms
         self.attempts: list[int] = []  # the server of each
+        self.hasty = hasty  # an attempt that seems lost is given up; else waited for, to learn whether it was
         self.server: Server | None = None  # where an attempt is out
         self.first_risk: tuple[Server, float] | None = None  # first attempt that may have run: where and when
 
@@ -601,10 +643,11 @@
         self._settings = settings
         self._classes = {cls.name: cls for cls in settings.classes}
         rng = random.Random(seed)
+        self._rng = rng
         self._quota = Quota(settings, rng)
         self._fleet = Fleet(settings, rng)
         self._jobs: dict[str, Job] = {}
-        self._wakes: dict[int, Ledger | tuple[str, int, float]] = {}
+        self._wakes: dict[int, Ledger | tuple[str, int, float, bool]] = {}
         self._token = 0
         self._retries = self._saved = 1 + RETRY_SAVED / settings.gateways
 
@@ -639,7 +682,7 @@
         job.ledger.open += (server is not None) - (job.server is not None)
         job.server = server
 
-    def _wake(self, at: float, purpose: Ledger | tuple[str, int, float]) -> Action:
+    def _wake(self, at: float, purpose: Ledger | tuple[str, int, float, bool]) -> Action:
         self._token += 1
         self._wakes[self._token] = purpose
         return Wake(at, self._token)
@@ -649,7 +692,7 @@
         if cls is None:
             raise ValueError(f"class {event.cls!r} is not among the settings")
         led = self._quota.ledger(now, event)
-        job = self._jobs[event.id] = Job(event, cls, led, now)
+        job = self._jobs[event.id] = Job(event, cls, led, now, self._rng.random() >= LOST_WAITED)
         if led.plan.rate <= 0:
             return self._send(now, job)
         wait = led.quota.wait(now, event.units) if led.told else 0.0
@@ -755,7 +798,8 @@
         if allowed is False or spent or left <= self._settings.tick_ms:
             return self._give_up(now, job)
         choice = None if self._fleet.crowded() else self._fleet.pick(now, allowed, job.attempts)
-        if choice is None or choice[1] > fit * aim_left:
+        if choice is None or (choice[1] > fit * aim_left and not (
+                aim_left > 0 and not job.attempts and self._fleet.trial(now, choice[0].id))):
             return self._give_up(now, job)
         server, attempt = choice[0].id, len(job.attempts)
         if attempt == 0:
@@ -767,7 +811,7 @@
         self._fleet.sent(now, server, (job.request.id, attempt))
         actions: list[Action] = [Send(job.request.id, server, left)]
         if self._settings.can_cancel and patience < left:
-            actions.append(self._wake(now + patience, (job.request.id, attempt, patience)))
+            actions.append(self._wake(now + patience, (job.request.id, attempt, patience, True)))
         return actions
 
     def _give_up(self, now: float, job: Job) -> list[Action]:
@@ -799,16 +843,23 @@
         return self._send(now, job)
 
     def _due(self, now: float, token: int) -> list[Action]:
-        purpose = self._wakes.pop(token, ("", 0, 0.0))
+        purpose = self._wakes.pop(token, ("", 0, 0.0, False))
         if isinstance(purpose, Ledger):
             purpose.flushing = False
             return self._quota.ask(now, purpose)
-        rid, attempt, patience = purpose
+        rid, attempt, patience, first = purpose
         job = self._jobs.get(rid)
         if job is None or not job.server or len(job.attempts) != attempt + 1:
             return []
-        silent = self._fleet.silent(now, job.attempts[-1], (rid, attempt), patience)
-        # Only where another attempt can follow: else the work done is wasted for nothing.
-        if silent and self._retries >= 1 and len(job.attempts) < self._settings.max_attempts:
+        server = job.attempts[-1]
+        more = self._retries >= 1 and len(job.attempts) < self._settings.max_attempts
+        late = now >= job.arrived + job.cls.aim_ms and not job.cls.late_share
+        if job.hasty and (late or (more and self._fleet.calm(now))) and self._fleet.lost(
+                now, server, (rid, attempt)):
             return [Cancel(rid, attempt)]
-        return []
+        # Only where another attempt can follow: else the work done is wasted for nothing.  Looked at once:
+        # what is given up later only adds to the load.
+        if first and self._fleet.silent(now, server, (rid, attempt), patience) and more:
+            return [Cancel(rid, attempt)]
+        again = now + max(LOOK_AGAIN * patience, self._settings.tick_ms)
+        return [self._wake(again, (rid, attempt, patience, False))]
