Close a crowd's idle connections before clients reach their own bound

Checked and ruled out: the core's refusals, readiness, the counter (it answers), restarts (one gateway at a time).

--- a/badgeryoke/gateway.py
+++ b/badgeryoke/gateway.py
@@ -30,7 +30,7 @@
 CLIENT_PART, SERVER_PART, DIAMETER_PART = 0.5, 0.3, 0.1  # of the descriptors, for each kind of link
 LEAST_POOL = 4
 SWEEP_S = 1.0
-CLIENT_SWEEP_S = 0.2
+CLIENT_SWEEP_S = 0.1
 LAG_LOOK_S = 0.01
 # How long a client may take over a command, the first from its connection on, and how long it may keep a
 # connection with nothing open: one that asks once and stays, or says nothing, holds descriptor and memory.
@@ -38,6 +38,9 @@
 # Where the bound on connections is reached, the one that has been idle longest gives way, if for so long; one
 # that has not yet said a word counts as idle for longer, since whoever has something to ask does so at once.
 GIVE_WAY_S, SILENT_AHEAD_S = 0.1, 2.0
+# From this part of the descriptors on, those idle for so long are closed, the longest first: clients have a
+# bound of their own, a third of the descriptors, and where a crowd holds all of those nobody else can come.
+CROWD_PART, CROWD_S = 0.2, 0.3
 CLIENT_BUFFER = 128 * 1024  # bound of what is read of a client and not yet taken
 CLIENT_WRITES = 128 * 1024  # and of what it has not yet fetched, ...
 UNREAD_S = 2.5  # ... which it must fetch within this time
@@ -62,8 +65,10 @@
 class RespFront(TCPServer):
     """Accepts the platform's clients."""
 
-    def __init__(self, core: Core, loop: Turns, most: int, host_group: HostGroup, most_held: int) -> None:
+    def __init__(self, core: Core, loop: Turns, most: int, host_group: HostGroup, most_held: int,
+                 crowd: int) -> None:
         super().__init__(max_buffer_size=CLIENT_BUFFER)
+        self._crowd = crowd
         self._most_held = most_held
         self._core, self._loop, self._most, self._host_group = core, loop, most, host_group
         self.links: dict[ClientLink, None] = {}
@@ -74,7 +79,7 @@
         return self._host_group.ready and not self.leaving
 
     async def handle_stream(self, stream: IOStream, address: object) -> None:
-        if len(self.links) >= self._most and not self._make_room():
+        if len(self.links) >= self._most and not self._make_room(GIVE_WAY_S):
             if not self._full_logged:
                 self._full_logged = True
                 log.warning("clients are turned away: %d connections are open and in use", len(self.links))
@@ -86,13 +91,13 @@
         self.links[link] = None
         await link.serve()
 
-    def _make_room(self) -> bool:
-        """Close the connection whose client has least use of it; False where all are in use."""
+    def _make_room(self, least_s: float) -> bool:
+        """Close the connection whose client has least use of it; False where none was idle for so long."""
         now = self._loop.time()
         worst: tuple[float, ClientLink] | None = None
         for link in self.links:
             idle_s = now - link.idle_since
-            if idle_s < GIVE_WAY_S:
+            if idle_s < least_s:
                 continue
             idle_s += 0.0 if link.spoke else SILENT_AHEAD_S
             if (worst is None or idle_s > worst[0]) and link.idle:
@@ -119,6 +124,8 @@
                 link.drop()
                 if held <= self._most_held:
                     break
+        while len(self.links) > self._crowd and self._make_room(CROWD_S):
+            pass
         if self._full_logged and len(self.links) < self._most * 3 // 4:
             self._full_logged = False
             log.info("clients are taken again: %d connections are open", len(self.links))
@@ -143,7 +150,7 @@
                          self._counter or NoCounter(loop), int(room * BODIES_PART))
         self._hosts = HostGroup(config.discovery, config.known, loop, self._changed)
         self._front = RespFront(self.core, loop, int(config.sockets * CLIENT_PART), self._hosts,
-                                int(room * HALVES_PART))
+                                int(room * HALVES_PART), int(config.sockets * CROWD_PART))
         self._diameter: DiameterFront | None = None
         if (second := config.diameter) is not None:
             address = second.listen[0] if second.listen is not None else "127.0.0.1"
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -208,6 +208,25 @@
     play(test)
 
 
+def test_idle_connections_give_way_before_clients_reach_a_bound_of_their_own(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    """Clients hold a third of the descriptors at most: a crowd that stayed kept all others from coming."""
+    monkeypatch.setattr(gateway_module, "CROWD_PART", 4 / 1024)
+    monkeypatch.setattr(gateway_module, "CROWD_S", 0.0)
+
+    async def test() -> None:
+        async with one_gateway() as (app, _, _):
+            writers = []
+            for n in range(12):
+                reader, writer = await connect(app.address)
+                writers.append(writer)
+                writer.write(query(f"r{n}"))
+                assert await read_reply(reader) == b"value"
+            await until(lambda: len(app._front.links) <= 4)  # though nobody new comes
+
+    play(test)
+
+
 @pytest.mark.parametrize("sent", [b"", b"*4\r\n$9\r\nSVC.QUERY\r\n", b"*1\r\n$60000\r\nxx"])
 def test_a_client_that_says_nothing_or_half_a_command_is_closed(
         sent: bytes, monkeypatch: pytest.MonkeyPatch) -> None:
