Believe a guessed jam for a time only, and take no lost answer for a queue

Checked and ruled out: the servers' own load, discovery (its watch breaks and comes back; the list stands), CPU. At fault: Fleet.outcome took the whole time to the deadline for a queue when one answer was lost, though the server had answered what was sent later; Fleet.pick chose a server so shunned only once no other fitted.

Changed: an attempt that was overtaken jams nothing by its time-out; a guess is believed for one aim without a send, longer the more of the server's attempts failed, and then one attempt goes to see.

--- a/martenstep/decide.py
+++ b/martenstep/decide.py
@@ -519,6 +519,8 @@
                 break
             width -= 1
             base, queue = self._expect(now, peer)
+            if peer.guessed and now - peer.sent >= TRIAL * self._aim * (1 + FAIL_COST * peer.failures(now)):
+                queue = 0.0  # a guess is believed for so long, then one goes to see: the later, the more fail
             cost = (base * (1 + len(peer.out)) + queue) * (1 + FAIL_COST * peer.failures(now))
             if worst is None or cost > worst[0]:
                 worst = cost, peer
@@ -590,7 +592,8 @@
             if not self.calm(now):
                 self._latency += POOL_GAIN * (min(event.rtt_ms / aim, 1.0) - self._latency)
                 self._more = max((self._more - self._part()) / 2, -self._part() / 2)
-            self._jammed(now, peer, event.rtt_ms)
+            if sent >= max(peer.recent, default=-math.inf):  # else it was lost on its way, in no queue
+                self._jammed(now, peer, event.rtt_ms)
         if event.verdict not in (Verdict.MOOT, Verdict.CANCELLED):
             peer.judge(now, bad)
             if bad:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -385,3 +385,32 @@
         for send in sends(made, now + 4500, request(f"{name}-quick")):
             made.handle(now + 4520, outcome(send, api.Verdict.OK, rtt=20.0))
     assert only(overtaken(made, START + 200_000, "b"), api.Cancel) == [api.Cancel("b", 0)]
+
+
+def test_an_answer_lost_on_its_way_jams_no_server() -> None:
+    """One attempt that timed out at its deadline kept its server out, though it had answered all others."""
+    made = measured()
+    [lost] = sends(made, START, request("lost"))
+    [send] = sends(made, START + 10, request("r1"))
+    made.handle(START + 30, outcome(send, api.Verdict.OK, rtt=20.0))
+    made.handle(START + 3900, outcome(lost, api.Verdict.TIMEOUT, rtt=3900.0, ended=True))
+    assert sum(made._fleet._expect(START + 3900, made._fleet._peers[1])) < 200
+
+
+def test_a_server_that_is_only_guessed_to_be_jammed_is_tried_beside_sound_ones() -> None:
+    """It was tried only where no sound one was left: few servers bore all while the others stood idle."""
+    made = free(servers=[server(1), server(2)], can_cancel=False)
+    for n in range(40):
+        for send in sends(made, START - 500 + 5 * n, request(f"m{n}")):
+            made.handle(START - 490 + 5 * n, outcome(send, api.Verdict.OK, rtt=20.0))
+    jammed = made._fleet._peers[2]
+    made._fleet._jammed(START, jammed, 3000.0)
+    jammed.sent = START
+    chosen: dict[int, list[int]] = {100: [], 1200: []}
+    for at, servers in chosen.items():
+        for n in range(20):
+            for send in sends(made, START + at + n, request(f"{at}-{n}")):
+                servers.append(send.server)
+                if send.server == 1:
+                    made.handle(START + at + n, outcome(send, api.Verdict.OK, rtt=20.0))
+    assert 2 not in chosen[100] and 2 in chosen[1200]
