--- a/badgeryoke/core.py
+++ b/badgeryoke/core.py
@@ -110,6 +110,7 @@
         self._gateways, self._max_units = settings.gateways, settings.max_units
         self._ids: set[str] = set()  # of the queries that are owed an answer
         self._running: dict[str, _Running] = {}
+        self._wakes: dict[int, asyncio.TimerHandle] = {}  # as many as the module has asked for and not had
         self._aim_ms = min((cls.aim_ms for cls in settings.classes), default=1000.0)
         self._lag_ms, self._random = 0.0, random.Random(seed)
         self._next = self._bodies = 0
@@ -262,7 +263,8 @@
             case api.Count(name=name, units=units, expire_ms=life):
                 self._counter.add(name, units, life, self._counted)
             case api.Wake(at_ms=at, token=token):
-                self._loop.call_later(max(at - now, 0.0) / 1000.0, self.deliver, self._decide, api.Due(token))
+                self._wakes[token] = self._loop.call_later(
+                    max(at - now, 0.0) / 1000.0, self.deliver, self._due, token)
             case api.Cancel(id=rid, attempt=attempt):
                 run = self._running.get(rid)
                 if run is not None and run.execution is not None and run.execution.attempt == attempt:
@@ -272,6 +274,17 @@
             case api.Subscribe() | api.Probe():
                 pass  # the watch runs from the start, and servers are never probed
 
+    def _due(self, token: int) -> None:
+        if self._wakes.pop(token, None) is not None:
+            self._decide(api.Due(token))
+
+    def settle(self) -> None:
+        """All has its answer and the gateway ends: what the module has put off is due now.  Units that it
+        gathered and has not told would else be lost to the other gateways."""
+        for token, timer in list(self._wakes.items()):
+            timer.cancel()
+            self.post(self._due, token)
+
     def _counted(self, total: api.Total) -> None:
         self.post(self._decide, total)
 
--- a/badgeryoke/counter.py
+++ b/badgeryoke/counter.py
@@ -106,6 +106,11 @@
         self._retrying = self._timer = False
         self._down_logged = self._fault_logged = False
 
+    @property
+    def busy(self) -> bool:
+        """Whether a call waits for its answer, and its time is not up."""
+        return any(call.done is not None for call in self._timed)
+
     def open(self) -> None:
         """Connect, and stay connected."""
         self.post(self._connect)
--- a/badgeryoke/gateway.py
+++ b/badgeryoke/gateway.py
@@ -295,6 +295,15 @@
             return
         log.info("ended: all answered")
         self._hosts.stop()
+        self.core.settle()
+        wait_s = self._config.settings.counter_timeout_ms / 1000.0
+        self._loop.call_later(0.02, self._await_reports, self._loop.time() + wait_s)
+
+    def _await_reports(self, until: float) -> None:
+        """The last reports have the time that any call has: closed at once, they would be cut off."""
         if self._counter is not None:
+            if self._counter.busy and self._loop.time() < until:
+                self._loop.call_later(0.02, self._await_reports, until)
+                return
             self._counter.close()
         self._loop.call_later(0.02, self.done.set)
