Take sends beyond the quota out of the decisions: idle, and in nobody's books

No plan of the deployment earns anything beyond its quota. Such a send was charged neither to the arrival time nor to the counter, only to this gateway's part of a ceiling's headroom: a second decider beside the arrival-time test, which the design has answer "refused at once".

Change: _beyond(), BEYOND_FIT and the `fit` of _send() are gone; what does not conform is refused with its wait.

--- a/martenstep/decide.py
+++ b/martenstep/decide.py
@@ -83,7 +83,6 @@
 TRIAL = 1.0  # aims without a send to a server after which its queue is believed only on trial
 FIT_OF_AIM = 0.75  # a send must be expected to end within this part of the aim that is left
 OPEN_WAIT_MS = 100.0  # retry-after where the plan's limit of attempts out is reached: about one answer
-BEYOND_FIT = 0.25  # and a send beyond the quota within this one: only an idle back end has room for it
 RETRY_SHARE = 0.1  # further attempts per first send: bounds the extra load when much fails at once, ...
 RETRY_CALM = 0.4  # ... while answers are slow; while they are quick there is room for more
 RETRY_SAVED = 40.0  # further attempts all gateways may save up for the loss of a server, besides one each
@@ -724,7 +723,7 @@
         if led.plan.open_limit and led.open >= max(led.plan.open_limit * led.part(), 1.0):
             wait = max(wait, OPEN_WAIT_MS)  # the others' attempts out are guessed by their part of the units
         if wait > 0:
-            return self._beyond(now, job, wait)
+            return self._refuse(now, job, wait)
         if self._quota.spare(now, led, event.units):
             return self._unconfirmed(now, job, True)
         patient = event.remaining_ms > HOLD_TIMES * self._settings.counter_timeout_ms
@@ -744,7 +743,7 @@
             # the counter is down and the servers are slow for a reason that fewer sends do not mend.
             wait = max(wait, led.quota.per_unit)
         if wait > 0:
-            return self._beyond(now, job, wait)
+            return self._refuse(now, job, wait)
         head = None if led.quota.half else led.head  # a part of the quota needs none of the headroom
         if head and head.room(now) < units:
             return self._refuse(now, job, led.quota.per_unit)
@@ -760,17 +759,6 @@
                 actions.append(self._wake(now + FLUSH_SHARE * led.period_ms, led))
         return actions
 
-    def _beyond(self, now: float, job: Job, wait: float) -> list[Action]:
-        """Refuse with the retry-after, unless the plan earns more beyond the quota than it costs, the servers
-        have room to spare and the own part of the headroom holds it: it is in nobody else's books."""
-        led, units = job.ledger, job.request.units
-        if led.plan.over_worth <= led.plan.over_cost or (led.head and led.head.room(now) < units):
-            return self._refuse(now, job, wait)
-        actions = self._send(now, job, BEYOND_FIT)
-        if job.attempts and led.head:
-            led.head.take(units, now)
-        return actions
-
     def _total(self, now: float, event: Total) -> list[Action]:
         answer = self._quota.total(now, event)
         if answer is None:
@@ -788,7 +776,7 @@
                 continue
             wait = led.quota.wait(now, units)
             self._quota.judged(led, wait <= 0)
-            actions += self._beyond(now, job, wait) if wait > 0 else self._send(now, job)
+            actions += self._refuse(now, job, wait) if wait > 0 else self._send(now, job)
             if wait <= 0 and job.attempts:
                 led.quota.take(units, now)
             else:
@@ -815,7 +803,7 @@
             return lambda server: server.cell == first.cell
         return None
 
-    def _send(self, now: float, job: Job, fit: float = FIT_OF_AIM) -> list[Action]:
+    def _send(self, now: float, job: Job) -> list[Action]:
         """Start an attempt where it can still be answered in time, else give the final answer."""
         left = job.deadline - now
         aim_left = min(job.arrived + job.cls.aim_ms, job.deadline) - now
@@ -824,7 +812,7 @@
         if allowed is False or spent or left <= self._settings.tick_ms:
             return self._give_up(now, job)
         choice = None if self._fleet.crowded() else self._fleet.pick(now, allowed, job.attempts)
-        if choice is None or (choice[1] > fit * aim_left and not (
+        if choice is None or (choice[1] > FIT_OF_AIM * aim_left and not (
                 aim_left > 0 and not job.attempts and self._fleet.trial(now, choice[0].id))):
             return self._give_up(now, job)
         server, attempt = choice[0].id, len(job.attempts)
