Remove settings and constants that nobody reads

Kept: the settings whose bounds are checked at the start and named when they are impossible, so that a faulty configuration gets what it got.

--- a/lab/result.py
+++ b/lab/result.py
@@ -66,13 +66,13 @@
         classes=(api.RequestClass("balance-check", SAFE_AIM_MS, DEADLINE_MS, api.Effect.SAFE),),
         plans=tuple(api.Plan(plan.name, plan.rate, plan.burst, 0, plan.price, 0.0, plan.over_cost,
                              plan.ceiling_rate, plan.ceiling_burst, plan.slack) for plan in scenario.plans),
-        kinds=("std",), has_counter=True,
+        has_counter=True,
         counter_timeout_ms=scenario.counter_timeout_ms,
-        max_units=float(max(crowd.units[1] for crowd in scenario.crowds)), settles=True, max_attempts=3,
-        can_cancel=True, retry_after=True, max_retry_after_ms=1000.0,
-        report_fields=("latency_ms", "in_flight"), answer_slack_ms=16.0, cold_from=0.16,
+        max_units=float(max(crowd.units[1] for crowd in scenario.crowds)), max_attempts=3,
+        can_cancel=True, max_retry_after_ms=1000.0,
+        answer_slack_ms=16.0, cold_from=0.16,
         warm_within_ms=14_000.0, fall_multiple=3.0,
-        fall_window_ms=1500.0, sized=True)
+        fall_window_ms=1500.0)
 
 
 def conclude(scenario: Scenario, seed: int, referee: Referee, beliefs: list[Shown], calls: int,
--- a/lab/stage/run.py
+++ b/lab/stage/run.py
@@ -29,7 +29,6 @@
 FRONT_S = 1.5  # after which clients leave a dead gateway
 READY_S = 20.0
 HIGHEST_US = 60_000_000
-LATE_MS = 50.0  # the emulator itself running later than this spoils a run, and is told
 
 
 def free_port(host: str) -> int:
--- a/martenstep/interface.py
+++ b/martenstep/interface.py
@@ -118,25 +118,19 @@
     tick_ms: float
     classes: tuple[RequestClass, ...]
     plans: tuple[Plan, ...]
-    kinds: tuple[str, ...] = ()
     has_counter: bool = False
     counter_timeout_ms: float = 0.0
     max_units: float = 1.0
-    settles: bool = False
     max_attempts: int = 1
     can_cancel: bool = False
-    can_probe: bool = False
-    retry_after: bool = False
     max_retry_after_ms: float = 0.0
     must_subscribe: bool = False
     ask_within_ms: float = 0.0
-    report_fields: tuple[str, ...] = ()
     answer_slack_ms: float = 0.0
     cold_from: float = 1.0
     warm_within_ms: float = 0.0
     fall_multiple: float = 1.0
     fall_window_ms: float = 0.0
-    sized: bool = False
 
     def __post_init__(self) -> None:
         _at_least("gateways", self.gateways, 1)
--- a/martenstep/settings.py
+++ b/martenstep/settings.py
@@ -7,8 +7,6 @@
 from martenstep import interface as api
 
 EFFECTS = {"idempotent": api.Effect.SAFE, "deduplicated": api.Effect.KEYED, "at_most_once": api.Effect.UNSAFE}
-REPORT_FIELDS = {"rif": "in_flight", "q": "queue", "busy": "busy", "lat_ms": "latency_ms", "rate": "rate",
-                 "fail_rate": "error_rate"}
 
 
 def _need(table: dict[str, Any], path: str) -> Any:
@@ -30,7 +28,6 @@
 def settings_from(raw: dict[str, Any]) -> api.Settings:
     """Turn the nested settings into the module's; raises ValueError naming the key."""
     family, limits, rules = raw.get("family_info", {}), _need(raw, "policy_limits"), _need(raw, "rules")
-    feedback = raw.get("feedback", {})
     try:
         return api.Settings(
             me=int(_need(raw, "me")),
@@ -65,25 +62,19 @@
                 )
                 for entry in raw.get("contracts", [])
             ),
-            kinds=tuple(raw.get("kinds", ())),
             has_counter=bool(family.get("has_counter", False)),
             counter_timeout_ms=float(family.get("counter_timeout_ms", 0.0)),
             max_units=float(family.get("max_units", 1.0)),
-            settles=bool(family.get("trued_up", False)),
             max_attempts=int(limits.get("try_limit", 1)),
             can_cancel=bool(limits.get("cancelling", False)),
-            can_probe=bool(limits.get("probes", False)),
-            retry_after=bool(limits.get("retry_after", False)),
             max_retry_after_ms=float(limits.get("max_retry_after_ms", 0.0)),
             must_subscribe=raw.get("discovery", "automatic") == "subscribe",
             ask_within_ms=float(rules.get("ask_every_ms", 0.0)),
-            report_fields=tuple(REPORT_FIELDS.get(name, name) for name in feedback.get("fields", ())),
             answer_slack_ms=float(rules.get("answer_slack_ms", 0.0)),
             cold_from=float(rules.get("cold_from", 1.0)),
             warm_within_ms=float(rules.get("warm_within_ms", 0.0)),
             fall_multiple=float(rules.get("fall_multiple", 1.0)),
             fall_window_ms=float(rules.get("overload_for_ms", 0.0)),
-            sized=raw.get("weight_kind", "none") != "none",
         )
     except TypeError as error:
         raise ValueError(f"settings: a value has the wrong form ({error})") from None
--- a/martenstep/watch/state.py
+++ b/martenstep/watch/state.py
@@ -156,7 +156,6 @@
         self._late = 0.0
         self._slow = False
         self._stretch = 1.0
-        self._given_back = -math.inf
         self._hidden_since: dict[int, float] = {}
         self._tries: deque[int] = deque(maxlen=LOOKS_KEPT)
         self._tries_now, self._look = 0, -1
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -25,7 +25,6 @@
     counter_timeout_ms=50.0,
     max_attempts=3,
     can_cancel=True,
-    retry_after=True,
     cold_from=0.25,
     warm_within_ms=10_000.0,
     fall_multiple=2.0,
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -315,8 +315,8 @@
         "me": me, "gateways": 2, "zone": "a", "tick_ms": 4.0, "classes": (SAFE, KEYED),
         "plans": (api.Plan("dealer", rate=0.001, burst=1000.0, over_cost=1.2),
                   api.Plan("small", rate=0.001, burst=12.0, over_cost=1.2), api.Plan("free")),
-        "has_counter": True, "counter_timeout_ms": 10_000.0, "max_units": 6.0, "settles": True,
-        "max_attempts": 3, "can_cancel": True, "retry_after": True, "warm_within_ms": 0.0}
+        "has_counter": True, "counter_timeout_ms": 10_000.0, "max_units": 6.0,
+        "max_attempts": 3, "can_cancel": True, "warm_within_ms": 0.0}
     return api.Settings(**{**given, **changes})
 
 
