Diameter: a batch cut half way may have run, and a full connection says when to come back

Seen by reading, and by a test each that failed before: - Several credit-control requests go out in one write. Where it stuck half way and the connection broke, all of them ended as never written, also those whose last byte was out: a debit could be sent again elsewhere without regard to its key's window. At fault: turn_ended() and _look() of the server link, which judged the batch as one. All but the last of a stuck batch now count as written; the last only when nothing waits in the stream. - The refusal past 1,024 requests of one connection gave no time to come back, as the one of the full register does. Both are now the same refusal, put into words in one place.

Ruled out: RESP2 server links carry one attempt on a connection, so there is no batch.

--- a/badgeryoke/diameter/client_link.py
+++ b/badgeryoke/diameter/client_link.py
@@ -23,7 +23,7 @@
 
 log = logging.getLogger("badgeryoke.diameter.client")
 
-FULL_RETRY_MS = 1000.0  # advice where no further request can be remembered
+FULL_RETRY_MS = 1000.0  # advice where no further request can be remembered, or taken on a connection
 MOST_OUT = 1024  # requests of one connection that wait for their answers
 # What a CCR may hold with the M bit set; anything else so marked is not understood, and is refused.
 KNOWN = frozenset({
@@ -266,7 +266,8 @@
         if isinstance(request, Fault):
             self.reply_fault(message, request, session, extra)
         elif self._out_count >= MOST_OUT:
-            self.reply_fault(message, Fault(Result.TOO_BUSY, "too many requests here"), session, extra)
+            self._out_count += 1  # given back with the answer
+            self._answered(message, request, session, extra, Refused(FULL_RETRY_MS))
         else:
             asked = request
             self._out_count += 1
--- a/badgeryoke/diameter/server_link.py
+++ b/badgeryoke/diameter/server_link.py
@@ -135,21 +135,21 @@
         super().turn_ended()
         if not batch or self.stream.closed():
             return
-        if not self.stream.writing():
-            for execution in batch:
-                execution.written()
-        else:
-            self._loop.call_later(0.0, self.deliver, self._look, batch)
+        stuck = self.stream.writing()
+        # Of a batch that sticks half way all but the last may be out whole, and may run.
+        for execution in batch[:-1] if stuck else batch:
+            execution.written()
+        if stuck:
+            self._loop.call_later(0.0, self.deliver, self._look, batch[-1])
 
-    def _look(self, batch: list[Execution]) -> None:
-        """Written whole once nothing waits in the stream; a break before that proves that none ran."""
+    def _look(self, last: Execution) -> None:
+        """Written whole once nothing waits in the stream; a break before that proves that it never ran."""
         if self.stream.closed():
             return
         if self.stream.writing():
-            self._loop.call_later(0.001, self.deliver, self._look, batch)
-            return
-        for execution in batch:
-            execution.written()
+            self._loop.call_later(0.001, self.deliver, self._look, last)
+        else:
+            last.written()
 
     def _abandoned(self, number: int, execution: Execution) -> None:
         """Credit control has no way to take a request back.  Where the query has its final answer, a late CCA
--- a/tests/test_diameter.py
+++ b/tests/test_diameter.py
@@ -7,15 +7,20 @@
 import time
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
-from typing import Any
+from typing import Any, cast
 
 import pytest
+from tornado.iostream import IOStream
 
 from badgeryoke.actor import Turns, WallClock
 from badgeryoke.config import Config
+from badgeryoke.diameter import client_link, server_link
 from badgeryoke.diameter.peer import Identity as PeerIdentity
-from badgeryoke.diameter.peer import Peer
+from badgeryoke.diameter.peer import Peer, State
+from badgeryoke.diameter.server_link import DiameterServerLink
+from badgeryoke.execution import Execution, Query
 from badgeryoke.gateway import App
+from martenstep.interface import Verdict
 from tests.standins import (
     KEYED,
     NOW_MS,
@@ -430,3 +435,48 @@
         assert all(0 < used <= 12 for used in units.values()) and counted >= sum(units.values())
 
     play(test)
+
+
+def test_of_a_batch_that_sticks_half_way_all_but_the_last_may_have_run() -> None:
+    """A break counted as proof that none of them ran: those written whole were sent again elsewhere."""
+
+    class Stuck:
+        error = None
+
+        def set_close_callback(self, _: object) -> None: ...
+        def write(self, _: bytes) -> None: ...
+        def writing(self) -> bool:
+            return True
+
+        def closed(self) -> bool:
+            return False
+
+    loop = Turns(FakeLoop())
+    me = PeerIdentity("gw0.yoke.example", "yoke.example", "127.0.0.1", 1)
+    owner = DiameterServerLink(("127.0.0.1", 1), loop, lambda: 0.0, me=me, safe=frozenset(), services={},
+                               connect_ms=100.0, idle_ms=100.0, watchdog_s=30.0)
+    connection = server_link._Connection(cast(IOStream, Stuck()), owner, loop, 30.0)
+    connection.state = State.OPEN
+    ends: dict[str, Verdict] = {}
+    for name in ("first", "second", "last"):
+        asked = Query(name, "load-send", "small", 5, 1000.0, 1.0, 1, key=name)
+        connection.post(connection.write, Execution(
+            asked, 0, 1, 0.0, 1000.0, lambda one, end: ends.update({one.query.id: end.verdict})))
+    loop.run()
+    connection.gone()
+    assert ends == {"first": Verdict.RESET, "second": Verdict.RESET, "last": Verdict.CONNECT_FAILED}
+
+
+def test_more_requests_than_a_connection_may_have_are_told_when_to_come_back(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(client_link, "MOST_OUT", 1)
+
+    async def test(app: App, node: DiameterServer) -> None:
+        peer = await open_peer(app)
+        peer[1].write(ccr(1) + ccr(2))
+        got = await read_message(peer[0])
+        assert (got.end, got.result, got.avps[281]) == (2, 3004, b"retry after 1000 ms")
+        await node.books.arrived.wait()
+        peer[1].close()
+
+    with_gateway(test, "diameter", [None])
