Remove the belief in overtaken attempts, and the second looks that served it alone

It gave up one attempt where three later ones had been answered and most such had proved lost; silence of a server, its own time-out and the connection's end decide the same.

Change: OVERTAKEN, LOST_*, LOOK_AGAIN, Peer.overtook(), Fleet.lost(), Job.hasty and the re-armed timer are gone. Kept: what a later answer overtook tells nothing of a queue (Peer.newest).

--- a/martenstep/decide.py
+++ b/martenstep/decide.py
@@ -62,13 +62,8 @@
 FAIL_TAU_MS = 5000.0  # how fast failures are forgotten, so that a server is tried again
 FAIL_COST = 6.0  # a server that always fails costs this many times more than a sound one
 SILENT_TIMES = 4.0  # no answer for this many expected latencies is silence
-LOOK_AGAIN = 0.5  # of that time later it is looked at again, if it is not given up
 SILENT_OF_POOL = 0.75  # of the latency over all servers is expected at least: few answers tell of each
 SILENT_OF_AIM = 0.35  # and no less than this part of the aim, so that one long request is not silence
-OVERTAKEN = 3  # last answers of a server: what was sent before all of them is lost, or a long request, ...
-LOST_GAIN = 0.2  # ... which is learnt from how those end that are waited for, ...
-LOST_WAITED = 0.15  # ... this part of them even where most are lost
-LOST_MOST = 0.8  # share of them lost from which the others are given up
 COLD_SAFETY = 0.3  # part of a cold server's budget that is used: its size and the others' use are guesses
 COLD_LEAST = 1.0  # sends of all gateways per fall window to a cold server while no usual load is known
 # Requests
@@ -378,16 +373,11 @@
         self.latency, self.timed = 0.0, -math.inf  # EWMA, and when it was last measured
         self.guessed = False  # it was not measured, but taken from how long nothing came
         self.sent = -math.inf  # when last
-        self.recent: list[float] = []  # when those were sent that were answered last
+        self.newest = -math.inf  # when the newest of those was sent that were answered
         self.failing, self.failed = 0.0, -math.inf  # EWMA of failures, and when it last moved
         self.answered, self.answers = -math.inf, 0  # when last, and how many good ones
         self.cold_tat: float | None = None  # no send before this while cold; None: not thought of yet
 
-    def overtook(self) -> float:
-        """What was sent before this and is out still was overtaken by all of the last answers: its connection
-        or its answer is lost, or it is one long request."""
-        return min(self.recent) if len(self.recent) == OVERTAKEN else -math.inf
-
     def failures(self, now: float) -> float:
         """Share of attempts that fail, as far as it is not forgotten."""
         return self.failing * math.exp((self.failed - now) / FAIL_TAU_MS)
@@ -411,7 +401,6 @@
         self._began = math.inf  # time of the first send
         self._latency = GUESS_OF_AIM  # EWMA over the answers of all servers, in parts of the class's aim
         self._out = 0  # attempts out at all servers, and ...
-        self._lost = 0.0  # EWMA share of overtaken attempts that were never answered
         self._unmet = 0.0  # EWMA share of attempts that got no connection
         self._more = LIMIT_SPARE  # ... how many more than its part this gateway may have
 
@@ -486,8 +475,7 @@
         queue *= math.exp((peer.timed - now) / max(QUEUE_TAU * self._aim, QUEUE_TIMES * queue))
         # What is out there tells before it is answered.
         # What any later one overtook is long or lost, and tells nothing of the queue.
-        since = max(peer.recent, default=-math.inf)
-        oldest = min((sent for sent in peer.out.values() if sent >= since), default=now)
+        oldest = min((sent for sent in peer.out.values() if sent >= peer.newest), default=now)
         return peer.base, max(queue, now - oldest - peer.base)
 
     def patience(self, now: float, peer_id: int, aim: float) -> float:
@@ -582,11 +570,9 @@
         sent = peer.out.pop((event.id, event.attempt), now)
         bad = event.verdict not in (Verdict.OK, Verdict.MOOT, Verdict.CANCELLED)
         self._unmet += POOL_GAIN * ((event.verdict is Verdict.CONNECT_FAILED) - self._unmet)
-        if event.verdict in (Verdict.OK, Verdict.TIMEOUT) and sent < peer.overtook():
-            self._lost += LOST_GAIN * ((event.verdict is Verdict.TIMEOUT) - self._lost)
         if event.verdict in (Verdict.OK, Verdict.ERROR, Verdict.FULL):
             peer.answered = now
-            peer.recent = [*peer.recent[1 - OVERTAKEN:], sent]
+            peer.newest = max(peer.newest, sent)
         if event.verdict is Verdict.OK:
             rtt = event.rtt_ms
             if not peer.base:
@@ -615,22 +601,13 @@
             if not self.calm(now):
                 self._latency += POOL_GAIN * (min(event.rtt_ms / aim, 1.0) - self._latency)
                 self._more = max((self._more - self._part()) / 2, -self._part() / 2)
-            if sent >= max(peer.recent, default=-math.inf):  # else it was lost on its way, in no queue
+            if sent >= peer.newest:  # else it was lost on its way, in no queue
                 self._jammed(now, peer, event.rtt_ms)
         if event.verdict not in (Verdict.MOOT, Verdict.CANCELLED):
             peer.judge(now, bad)
             if bad:
                 self._step_back(now, peer)
 
-    def lost(self, now: float, server: int, key: tuple[str, int]) -> bool:
-        """Whether a server answers, but not this attempt, where such are mostly lost.  It counts as a failure
-        and not as a queue.  Covers connections that fall silent; harms where long requests begin to come."""
-        peer = self._peers.get(server)
-        if peer is None or self._lost < LOST_MOST or peer.out.get(key, now) >= peer.overtook():
-            return False
-        peer.judge(now, True)
-        return True
-
     def silent(self, now: float, server: int, key: tuple[str, int], patience: float) -> bool:
         """Whether nothing has come from a server for so long that an attempt there is given up."""
         peer = self._peers.get(server)
@@ -654,11 +631,10 @@
 class Job:
     """One request from its arrival to its final answer."""
 
-    def __init__(self, request: Request, cls: RequestClass, ledger: Ledger, now: float, hasty: bool) -> None:
+    def __init__(self, request: Request, cls: RequestClass, ledger: Ledger, now: float) -> None:
         self.request, self.cls, self.ledger = request, cls, ledger
         self.arrived, self.deadline = now, now + request.remaining_ms
         self.attempts: list[int] = []  # the server of each
-        self.hasty = hasty  # an attempt that seems lost is given up; else waited for, to learn whether it was
         self.server: Server | None = None  # where an attempt is out
         self.first_risk: tuple[Server, float] | None = None  # first attempt that may have run: where and when
 
@@ -674,7 +650,7 @@
         self._quota = Quota(settings, rng)
         self._fleet = Fleet(settings, rng)
         self._jobs: dict[str, Job] = {}
-        self._wakes: dict[int, Ledger | tuple[str, int, float, bool]] = {}
+        self._wakes: dict[int, Ledger | tuple[str, int, float]] = {}
         self._token = 0
         self._retries = self._saved = 1 + RETRY_SAVED / settings.gateways
 
@@ -709,7 +685,7 @@
         job.ledger.open += (server is not None) - (job.server is not None)
         job.server = server
 
-    def _wake(self, at: float, purpose: Ledger | tuple[str, int, float, bool]) -> Action:
+    def _wake(self, at: float, purpose: Ledger | tuple[str, int, float]) -> Action:
         self._token += 1
         self._wakes[self._token] = purpose
         return Wake(at, self._token)
@@ -719,7 +695,7 @@
         if cls is None:
             raise ValueError(f"class {event.cls!r} is not among the settings")
         led = self._quota.ledger(now, event)
-        job = self._jobs[event.id] = Job(event, cls, led, now, self._rng.random() >= LOST_WAITED)
+        job = self._jobs[event.id] = Job(event, cls, led, now)
         if led.plan.rate <= 0:
             return self._send(now, job)
         wait = led.quota.wait(now, event.units) if led.told or led.version else 0.0
@@ -828,7 +804,7 @@
         self._fleet.sent(now, server, (job.request.id, attempt))
         actions: list[Action] = [Send(job.request.id, server, left)]
         if self._settings.can_cancel and patience < left:
-            actions.append(self._wake(now + patience, (job.request.id, attempt, patience, True)))
+            actions.append(self._wake(now + patience, (job.request.id, attempt, patience)))
         return actions
 
     def _give_up(self, now: float, job: Job) -> list[Action]:
@@ -860,23 +836,17 @@
         return self._send(now, job)
 
     def _due(self, now: float, token: int) -> list[Action]:
-        purpose = self._wakes.pop(token, ("", 0, 0.0, False))
+        purpose = self._wakes.pop(token, ("", 0, 0.0))
         if isinstance(purpose, Ledger):
             purpose.flushing = False
             return self._quota.ask(now, purpose)
-        rid, attempt, patience, first = purpose
+        rid, attempt, patience = purpose
         job = self._jobs.get(rid)
         if job is None or not job.server or len(job.attempts) != attempt + 1:
             return []
         server = job.attempts[-1]
         more = self._retries >= 1 and len(job.attempts) < self._settings.max_attempts
-        late = now >= job.arrived + job.cls.aim_ms and not job.cls.late_share
-        if job.hasty and (late or (more and self._fleet.calm(now))) and self._fleet.lost(
-                now, server, (rid, attempt)):
-            return [Cancel(rid, attempt)]
         # Only where another attempt can follow: else the work done is wasted for nothing.  Looked at once:
         # what is given up later only adds to the load.
-        if first and self._fleet.silent(now, server, (rid, attempt), patience) and more:
-            return [Cancel(rid, attempt)]
-        again = now + max(LOOK_AGAIN * patience, self._settings.tick_ms)
-        return [self._wake(again, (rid, attempt, patience, False))]
+        silent = self._fleet.silent(now, server, (rid, attempt), patience)
+        return [Cancel(rid, attempt)] if silent and more else []
