--- a/badgeryoke/counter.py
+++ b/badgeryoke/counter.py
@@ -150,8 +150,7 @@
         # From here on each may have been added.  Of a batch that sticks half way some are out, and no figure
         # tells which.
         used.calls.extend(calls)
-        used.stream.write(b"".join(call.data for call in calls)).add_done_callback(
-            lambda done: done.exception())  # what its end cut short is told by closed()
+        used.stream.write(b"".join(call.data for call in calls))  # what its end cuts short closed() tells
 
     def _finish(self, call: _Call, verdict: Verdict, total: float = 0.0) -> None:
         if call.done is not None:
