Answer operators on a second address, drain without an end, count what happened

Change: badgeryoke/management/ takes STATUS, METRICS, PAUSE and RESUME; badgeryoke/drain.py is the one state machine for PAUSE, SIGTERM and a successor; the core counts each query where its final answer is given and each attempt when it is written whole; the listening socket may be inherited (LB_SOCKET_FD). Connections close between requests, and no longer over bytes that wait in the kernel's buffer. The platform's listener moved from gateway.py into resp/front.py.

Tornado's IOStream lost answers to callers that half-close (nc -N): asyncio's streams serve the second address.

--- a/badgeryoke/config.py
+++ b/badgeryoke/config.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import ipaddress
+import os
+import socket
 import tomllib
 from collections.abc import Mapping
 from dataclasses import dataclass, field
@@ -56,7 +58,9 @@
     report_names: tuple[str, ...]  # the load report's fields as the wire names them
     connect_ms: float
     idle_ms: float
-    drain_s: float  # from SIGTERM until no new connection is taken
+    drain_s: float  # from SIGTERM or PAUSE until connections are closed: the front must have turned away
+    mgmt: Address | None = None  # the operators' address; None: nothing listens
+    socket_fd: int | None = None  # the clients' listening socket, held by the platform
     diameter: DiameterConfig | None = field(default=None)
     operators: Operators = field(default_factory=Operators)
 
@@ -82,6 +86,20 @@
     return value
 
 
+def _listening(value: str | None) -> int | None:
+    """The descriptor of an inherited listening socket."""
+    if not value:
+        return None
+    try:
+        with socket.socket(fileno=os.dup(int(value))) as held:
+            listens = held.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)
+            if held.type != socket.SOCK_STREAM or not listens:
+                raise ValueError
+    except (ValueError, OSError, OverflowError):
+        raise ConfigError(f"LB_SOCKET_FD: {value[:32]!r} is no listening TCP socket") from None
+    return int(value)
+
+
 def read_config(environ: Mapping[str, str], root: Path, again: bool = False) -> Config:
     """Read everything; raises ConfigError.
 
@@ -125,9 +143,16 @@
     counter = raw.get("counter")
     if settings.has_counter and not counter:
         raise ConfigError("counter: missing, though settings.family_info.has_counter is set")
+    listen = _address("LB_LISTEN", environ.get("LB_LISTEN") or raw.get("listen"))
+    mgmt = None
+    if told := environ.get("LB_MGMT") or raw.get("mgmt"):
+        key = "LB_MGMT" if environ.get("LB_MGMT") else "mgmt"
+        mgmt = _address(key, told)
+        if mgmt == listen:
+            raise ConfigError(f"{key}: the same address as listen")
     return Config(
         name=environ.get("LB_NAME") or str(raw.get("name", "")),
-        listen=_address("LB_LISTEN", environ.get("LB_LISTEN") or raw.get("listen")),
+        listen=listen,
         discovery=(_address("discovery", raw["discovery"]) if again and raw.get("discovery") else
                    _address("LB_DISCOVERY", environ.get("LB_DISCOVERY") or raw.get("discovery"))),
         counter=_address("counter", counter) if counter else None,
@@ -143,6 +168,8 @@
         drain_s=0.45,
         diameter=read_diameter(root / "deploy" / "diameter.toml", settings),
         operators=operators,
+        mgmt=mgmt,
+        socket_fd=_listening(environ.get("LB_SOCKET_FD")),
     )
 
 
--- a/badgeryoke/core.py
+++ b/badgeryoke/core.py
@@ -14,6 +14,7 @@
 
 from badgeryoke.actor import Actor, Turns
 from badgeryoke.execution import End, Execution, Query, ServerLink
+from badgeryoke.figures import COMPLETED, FAILED, REJECTED, Figures
 from martenstep import interface as api
 from martenstep.decide import Gateway
 
@@ -73,6 +74,9 @@
     def handle(self, now: float, event: api.Event) -> list[api.Action]:
         """Decide on one event; gives the actions to carry out."""
 
+    def avoided(self, now: float) -> int:
+        """How many of the listed servers get nothing now."""
+
 
 class _Running:
     """A query that is owed its answer, or whose last execution is still out."""
@@ -115,12 +119,18 @@
         self._lag_ms, self._random = 0.0, random.Random(seed)
         self._next = self._bodies = 0
         self.faults = 0
+        self.figures = Figures(self._classes)
 
     @property
     def unanswered(self) -> int:
         """Queries that are owed an answer still."""
         return sum(1 for run in self._running.values() if run.answer is not None)
 
+    @property
+    def avoided(self) -> int:
+        """Backends in the list that the module sends nothing to now."""
+        return self._module.avoided(self._clock())
+
     def problem(self, query: Query) -> str | None:
         """What is wrong with a query, in words for whoever sent it; None where it can be taken."""
         cls = self._classes.get(query.cls)
@@ -182,8 +192,9 @@
         elif self._shed():
             answer = Refused(self._aim_ms)
         if answer is not None:
-            run.answer, give = None, run.answer
+            give, run.answer = run.answer, None
             if give is not None:
+                self._count(run, answer)
                 give(answer)
             return
         self._ids.add(run.query.id)
@@ -296,7 +307,8 @@
         attempt, run.attempts = run.attempts, run.attempts + 1
         deadline = min(run.deadline_ms, now + action.timeout_ms) if action.timeout_ms > 0 else run.deadline_ms
         execution = Execution(run.query, attempt, action.server, now, deadline,
-                              lambda ended, end: self.post(self._ended, run, ended, end), run.may_have_run)
+                              lambda ended, end: self.post(self._ended, run, ended, end), run.may_have_run,
+                              self.figures.attempted)
         link = self._links(action.server)
         if run.execution is not None or run.answer is None:
             execution.moot("one attempt at a time, and none after the answer")
@@ -329,11 +341,17 @@
         """The one place where a final answer is given."""
         if run.answer is None:
             return
-        give, run.answer = run.answer, None
         self._ids.discard(run.query.id)
+        give, run.answer = run.answer, None
         self._release(run)
+        self._count(run, answer)
         give(answer)
 
+    def _count(self, run: _Running, answer: Answer) -> None:
+        """A query has ended, under one result."""
+        result = {Served: COMPLETED, Refused: REJECTED, Failed: FAILED}[type(answer)]
+        self.figures.ended[run.query.cls][result] += 1
+
     def _forget(self, run: _Running) -> None:
         if self._running.pop(run.id, None) is not None:
             self._bodies -= len(run.query.body or b"")
--- a/badgeryoke/diameter/client_link.py
+++ b/badgeryoke/diameter/client_link.py
@@ -224,8 +224,12 @@
         self.register = Register(config, settings, core, loop, clock)
         self.links: dict[DiameterClientLink, None] = {}
         self._most = most
+        self.turning = False  # peers are sent away
 
     async def handle_stream(self, stream: IOStream, address: object) -> None:
+        if self.turning:
+            stream.close()
+            return
         if len(self.links) >= self._most:
             log.warning("peer turned away: %d connections are open", len(self.links))
             stream.close()
--- a/badgeryoke/execution.py
+++ b/badgeryoke/execution.py
@@ -70,11 +70,12 @@
 class Execution:
     """One attempt.  Its first end counts, and every later one is ignored."""
 
-    __slots__ = ("_on_end", "attempt", "begun", "deadline_ms", "final", "on_abandon", "query",
+    __slots__ = ("_on_end", "_on_written", "attempt", "begun", "deadline_ms", "final", "on_abandon", "query",
                  "repeat", "server", "stage", "started_ms")
 
     def __init__(self, query: Query, attempt: int, server: int, started_ms: float, deadline_ms: float,
-                 on_end: Callable[[Execution, End], None], repeat: bool = False) -> None:
+                 on_end: Callable[[Execution, End], None], repeat: bool = False,
+                 on_written: Callable[[], None] | None = None) -> None:
         self.query, self.attempt, self.server = query, attempt, server
         self.started_ms, self.deadline_ms = started_ms, deadline_ms
         self.repeat = repeat  # an earlier attempt may have run
@@ -82,7 +83,7 @@
         self.final = False  # no attempt will follow this one
         self.stage = Stage.NOT_WRITTEN
         self.on_abandon: Callable[[], None] | None = None  # set by the server link: ends the attempt there
-        self._on_end = on_end
+        self._on_end, self._on_written = on_end, on_written
 
     @property
     def ended(self) -> bool:
@@ -97,6 +98,8 @@
         """The last byte is out: from here on it may have run."""
         if self.stage is Stage.NOT_WRITTEN:
             self.begun, self.stage = True, Stage.WRITTEN
+            if self._on_written is not None:
+                self._on_written()
 
     def served(self, value: bytes, true_units: float = 0.0, report: tuple[float, ...] = ()) -> None:
         self._end(Verdict.OK, value=value, true_units=true_units, report=report)
--- a/badgeryoke/gateway.py
+++ b/badgeryoke/gateway.py
@@ -4,14 +4,15 @@
 
 import asyncio
 import logging
+import os
 import signal
+import socket
 import time
 from collections.abc import Callable
 from dataclasses import replace
+from typing import TYPE_CHECKING
 
-from tornado.iostream import IOStream
 from tornado.netutil import bind_sockets
-from tornado.tcpserver import TCPServer
 
 from badgeryoke.actor import Turns, WallClock
 from badgeryoke.config import Config, ConfigError
@@ -20,30 +21,23 @@
 from badgeryoke.diameter.client_link import DiameterFront
 from badgeryoke.diameter.peer import Identity
 from badgeryoke.diameter.server_link import DiameterServerLink
+from badgeryoke.drain import Drain, Effect, Event
 from badgeryoke.host_group import Host, HostGroup
-from badgeryoke.resp.client_link import ClientLink
+from badgeryoke.resp.front import RespFront
 from badgeryoke.resp.server_link import RespServerLink
 from martenstep.interface import Members, State, Total, Verdict
 
+if TYPE_CHECKING:
+    from badgeryoke.management.front import ManagementFront
+
 log = logging.getLogger("badgeryoke")
 
 CLIENT_PART, SERVER_PART, DIAMETER_PART = 0.5, 0.3, 0.1  # of the descriptors, for each kind of link
+CROWD_PART = 0.2  # of the descriptors, from which on idle clients are closed sooner (resp/front.py)
 LEAST_POOL = 4
 SWEEP_S = 1.0
 CLIENT_SWEEP_S = 0.1
 LAG_LOOK_S = 0.01
-# How long a client may take over a command, the first from its connection on, and how long it may keep a
-# connection with nothing open: one that asks once and stays, or says nothing, holds descriptor and memory.
-COMMAND_S, IDLE_S = 2.0, 20.0
-# Where the bound on connections is reached, the one that has been idle longest gives way, if for so long; one
-# that has not yet said a word counts as idle for longer, since whoever has something to ask does so at once.
-GIVE_WAY_S, SILENT_AHEAD_S = 0.1, 2.0
-# From this part of the descriptors on, those idle for so long are closed, the longest first: clients have a
-# bound of their own, a third of the descriptors, and where a crowd holds all of those nobody else can come.
-CROWD_PART, CROWD_S = 0.2, 0.3
-CLIENT_BUFFER = 128 * 1024  # bound of what is read of a client and not yet taken
-CLIENT_WRITES = 128 * 1024  # and of what it has not yet fetched, ...
-UNREAD_S = 2.5  # ... which it must fetch within this time
 # Of the memory that is left beside the program itself: for bodies of open queries, and for half commands.
 PROGRAM_MB, BODIES_PART, HALVES_PART = 24.0, 0.25, 0.15
 LEAST_MB = 4.0
@@ -62,78 +56,6 @@
         self._loop.call_soon(done, Total(name, Verdict.CONNECT_FAILED, 0.0))
 
 
-class RespFront(TCPServer):
-    """Accepts the platform's clients."""
-
-    def __init__(self, core: Core, loop: Turns, most: int, host_group: HostGroup, most_held: int,
-                 crowd: int) -> None:
-        super().__init__(max_buffer_size=CLIENT_BUFFER)
-        self._crowd = crowd
-        self._most_held = most_held
-        self._core, self._loop, self._most, self._host_group = core, loop, most, host_group
-        self.links: dict[ClientLink, None] = {}
-        self.leaving = False
-        self._full_logged = False
-
-    def ready(self) -> bool:
-        return self._host_group.ready and not self.leaving
-
-    async def handle_stream(self, stream: IOStream, address: object) -> None:
-        if len(self.links) >= self._most and not self._make_room(GIVE_WAY_S):
-            if not self._full_logged:
-                self._full_logged = True
-                log.warning("clients are turned away: %d connections are open and in use", len(self.links))
-            stream.close()
-            return
-        stream.set_nodelay(True)
-        stream.max_write_buffer_size = CLIENT_WRITES
-        link = ClientLink(stream, self._core, self._loop, self.ready, self._closed)
-        self.links[link] = None
-        await link.serve()
-
-    def _make_room(self, least_s: float) -> bool:
-        """Close the connection whose client has least use of it; False where none was idle for so long."""
-        now = self._loop.time()
-        worst: tuple[float, ClientLink] | None = None
-        for link in self.links:
-            idle_s = now - link.idle_since
-            if idle_s < least_s:
-                continue
-            idle_s += 0.0 if link.spoke else SILENT_AHEAD_S
-            if (worst is None or idle_s > worst[0]) and link.idle:
-                worst = idle_s, link
-        if worst is None:
-            return False
-        worst[1].drop()
-        self._closed(worst[1])  # it counts no longer, though its end is still in its mailbox
-        return True
-
-    def sweep(self) -> None:
-        """Close what has been idle, or not come to the end of a command, for too long."""
-        now = self._loop.time()
-        held = 0
-        for link in list(self.links):
-            held += link.held
-            if (now - link.idle_since >= IDLE_S and link.idle) or now - link.begun_at >= COMMAND_S:
-                link.drop()
-            elif now - link.unread_since >= UNREAD_S:
-                link.abort()
-        if held > self._most_held:
-            for link in sorted(self.links, key=lambda link: link.held, reverse=True):
-                held -= link.held
-                link.drop()
-                if held <= self._most_held:
-                    break
-        while len(self.links) > self._crowd and self._make_room(CROWD_S):
-            pass
-        if self._full_logged and len(self.links) < self._most * 3 // 4:
-            self._full_logged = False
-            log.info("clients are taken again: %d connections are open", len(self.links))
-
-    def _closed(self, link: ClientLink) -> None:
-        self.links.pop(link, None)
-
-
 class App:
     """One gateway."""
 
@@ -160,16 +82,30 @@
             if second.listen is not None:
                 self._diameter = DiameterFront(second, config.settings, self._me, self.core, loop,
                                                self._clock, int(config.sockets * DIAMETER_PART))
+        self._drain = Drain()
+        self._management: ManagementFront | None = None
         self.done = asyncio.Event()  # everything taken has its answer
-        self._ending = False
 
     def start(self) -> None:
         """Listen, connect and watch."""
         if self._counter is not None:
             self._counter.open()
         self._hosts.start()
+        if self._config.mgmt is not None:
+            from badgeryoke.management.front import ManagementFront  # not loaded where nothing is asked for
+
+            self._management = ManagementFront(self)
+            host, port = self._config.mgmt
+            sockets = bind_sockets(port, host, socket.AF_INET if "." in host else socket.AF_UNSPEC, 64)[:1]
+            self.mgmt_address = sockets[0].getsockname()
+            self._serving = asyncio.ensure_future(self._management.serve(sockets))
+            log.info("operators' calls are taken on %s:%d", host, port)
         host, port = self._config.listen
-        sockets = bind_sockets(port, host, backlog=512)
+        if self._config.socket_fd is None:
+            sockets = bind_sockets(port, host, backlog=512)
+        else:
+            sockets = [socket.socket(fileno=os.dup(self._config.socket_fd))]  # our own to close
+            sockets[0].setblocking(False)
         self.address = sockets[0].getsockname()  # as bound, where port 0 was asked for
         self._front.add_sockets(sockets)
         if self._diameter is not None and (second := self._config.diameter) and second.listen is not None:
@@ -200,6 +136,7 @@
         try:
             config = self._reread()
         except ConfigError as fault:
+            self.core.figures.reload_errors += 1
             log.error("reload: configuration: %s; the old one stays", fault)
             return
         old, self._config = self._config, replace(
@@ -210,6 +147,7 @@
         for key in ("name", "listen", "sockets", "memory_mb", "settings", "diameter", "operators"):
             if getattr(config, key) != getattr(old, key):
                 log.warning("reload: %s differs: taken up at the next start only", key)
+        self.core.figures.reloads += 1
         log.info("reload: discovery at %s:%d", *config.discovery)
         if config.counter is not None:
             log.info("reload: counter at %s:%d", *config.counter)
@@ -262,42 +200,94 @@
         self._front.sweep()
         self._loop.call_later(CLIENT_SWEEP_S, self._sweep_clients)
 
+    # What the operators may ask (management.front.Operated).
+
+    def status(self) -> tuple[bool, str]:
+        """Whether this process can serve: an ending one cannot, a drained one could."""
+        if self._drain.ending:
+            return False, self._drain.state.value
+        return self._hosts.ready, self._drain.state.value if self._hosts.ready else "no list of servers yet"
+
+    def pause(self) -> str:
+        """Send clients away, without an end of the process."""
+        self._drained(Event.PAUSE)
+        return ""
+
+    def resume(self) -> str:
+        """Take clients again."""
+        if self._drain.ending:
+            return f"it is {self._drain.state.value}, and does not come back"
+        self._drained(Event.RESUME)
+        return ""
+
+    def metrics(self) -> str:
+        """The figures, one a line."""
+        from badgeryoke.management.render import Gauges, render
+
+        return render(self.core.figures, Gauges(self.core.unanswered, len(self._links), self.core.avoided))
+
+    # The drain's effects.
+
     def end(self) -> None:
         """SIGTERM: go on taking connections for a while, answer everything, then stop."""
-        if self._ending:
-            return
-        self._ending = True
-        self._front.leaving = True
-        log.info("ending: %d unanswered", self.core.unanswered)
-        self._loop.call_later(self._config.drain_s, self._stop_taking)
-
-    def _stop_taking(self) -> None:
-        self._front.stop()
-        for link in list(self._front.links):
-            link.end()
-        if self._diameter is not None:
-            self._diameter.stop()
-            for peer in list(self._diameter.links):
-                peer.end()
-        longest = max((cls.deadline_ms for cls in self._config.settings.classes), default=0.0) / 1000.0
-        most = min(longest, KILL_COUNTS_S) + KILL_MARGIN_S
-        self._loop.call_later(max(most - self._config.drain_s, 0.0), self._wait_no_longer)
-        self._await_end()
+        if not self._drain.ending:
+            log.info("ending: %d unanswered", self.core.unanswered)
+        self._drained(Event.TERM)
+
+    def _drained(self, event: Event, round_: int | None = None) -> None:
+        """Post an event to the drain and do what it says."""
+        before = self._drain.state
+        effects = self._drain.post(event, round_)
+        if self._drain.state is not before:
+            log.info("%s: %s, %d unanswered", event.value, self._drain.state.value, self.core.unanswered)
+        for effect in effects:
+            self._carry_out(effect)
+
+    def _carry_out(self, effect: Effect) -> None:
+        match effect:
+            case Effect.SAY_NO | Effect.SAY_YES:
+                self._front.turning = effect is Effect.SAY_NO
+                if self._diameter is not None:
+                    self._diameter.turning = effect is Effect.SAY_NO
+            case Effect.TIME_TURN:
+                self._loop.call_later(self._config.drain_s, self._drained, Event.TURNED, self._drain.round)
+            case Effect.CLOSE_LINKS:
+                self._front.close_links()
+                if self._diameter is not None:
+                    for peer in list(self._diameter.links):
+                        peer.end()
+            case Effect.KEEP_LINKS:
+                self._front.keep_links()
+            case Effect.STOP_ACCEPTING:
+                self._front.stop()
+                if self._diameter is not None:
+                    self._diameter.stop()
+            case Effect.TIME_END:
+                longest_ms = max((cls.deadline_ms for cls in self._config.settings.classes), default=0.0)
+                most = min(longest_ms / 1000.0, KILL_COUNTS_S) + KILL_MARGIN_S
+                self._loop.call_later(max(most - self._config.drain_s, 0.0), self._wait_no_longer)
+                self._await_end()
+            case Effect.REPORT:
+                log.info("ended: all answered")
+                self._hosts.stop()
+                self.core.settle()
+                wait_s = self._config.settings.counter_timeout_ms / 1000.0
+                self._loop.call_later(0.02, self._await_reports, self._loop.time() + wait_s)
+            case Effect.LEAVE:
+                if self._management is not None:
+                    self._management.end()
+                self.done.set()
 
     def _wait_no_longer(self) -> None:
         if not self.done.is_set():
             log.warning("stopped waiting: %d unanswered", self.core.unanswered)
-            self.done.set()
+            self._drained(Event.LATE)
 
     def _await_end(self) -> None:
         if self._front.links or (self._diameter is not None and self._diameter.links):
             self._loop.call_later(0.02, self._await_end)
             return
-        log.info("ended: all answered")
-        self._hosts.stop()
-        self.core.settle()
-        wait_s = self._config.settings.counter_timeout_ms / 1000.0
-        self._loop.call_later(0.02, self._await_reports, self._loop.time() + wait_s)
+        self._drained(Event.EMPTY)
 
     def _await_reports(self, until: float) -> None:
         """The last reports have the time that any call has: closed at once, they would be cut off."""
@@ -306,4 +296,4 @@
                 self._loop.call_later(0.02, self._await_reports, until)
                 return
             self._counter.close()
-        self._loop.call_later(0.02, self.done.set)
+        self._loop.call_later(0.02, self._drained, Event.SETTLED)
--- /dev/null
+++ b/badgeryoke/management/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' address: one line in, one answer out."""
--- a/badgeryoke/resp/client_link.py
+++ b/badgeryoke/resp/client_link.py
@@ -28,6 +28,9 @@
 MOST_FAULTS = 3  # commands refused as malformed on one connection, after which it is closed
 MOST_MS, MOST_UNITS, MOST_GATEWAYS = 1e7, 1e6, 1_000_000  # the core knows narrower bounds
 LINGER_S = 0.2  # for the client to fetch its last answer and close
+# A connection that is to end takes what still comes for so long; one that never stops asking is then cut off
+# behind an answer, and what lies behind that was not taken.  A new one has so long to ask its first.
+END_TAKES_S, END_FIRST_S = 1.0, 0.5
 MOST_WAITING = 64  # commands of one connection that wait for their answers; more are not read meanwhile
 PONG, OK = b"+PONG\r\n", b"+OK\r\n"
 
@@ -111,6 +114,8 @@
         self.spoke = False  # a whole command has come
         self.idle_since = loop.time()  # when it last had a command open, or was opened
         self.unread_since = math.inf  # since when answers wait for the client to fetch them
+        self.opened_at = self.idle_since
+        self._leaving = False  # it is to end between requests
         self.begun_at = self.idle_since  # since when a command is on its way in, the first from the start
         stream.set_close_callback(lambda: self.post(self._gone))
 
@@ -222,7 +227,8 @@
             self.unread_since = self.idle_since
         if len(slots) < MOST_WAITING:
             self._room.set()
-        if self._ending and not slots:
+        if (self._ending or (self._leaving and self.spoke)) and not slots:
+            self._ending = True
             self._finish()
 
     def _fetched(self, done: asyncio.Future[None]) -> None:
@@ -237,6 +243,8 @@
             return
         if self._stream.writing():
             self._loop.call_later(0.01, self.deliver, self._finish)
+        elif not self._broken and (not self._parser.idle or _unread(self._stream)):
+            pass  # sent before our end: it is read and answered, and that turn comes here again
         elif not self._finished:
             self._finished = True
             with contextlib.suppress(OSError):
@@ -244,16 +252,22 @@
             self._loop.call_later(LINGER_S, self._stream.close)
 
     def end(self) -> None:
-        """Close as soon as everything taken has its answer."""
+        """Close between requests, once everything taken has its answer."""
         self.post(self._end)
 
     def _end_now(self) -> None:
         self._broken = self._ending = True
 
     def _end(self) -> None:
-        if not self._parser.idle:  # a command is on its way in: it is taken first
-            self._loop.call_later(0.02, self.deliver, self._end)
-            return
+        if not self._leaving:
+            self._leaving = True
+            self._loop.call_later(END_TAKES_S, self.deliver, self._end_now)
+            if not self.spoke:
+                wait_s = max(self.opened_at + END_FIRST_S - self._loop.time(), 0.0)
+                self._loop.call_later(wait_s, self.deliver, self._silent)
+
+    def _silent(self) -> None:
+        """It had its time to ask."""
         self._ending = True
 
     def _gone(self) -> None:
--- /dev/null
+++ b/badgeryoke/resp/front.py
@@ -0,0 +1,114 @@
+"""The platform's listener: accepts clients, bounds their connections, and sweeps those of no use."""
+
+from __future__ import annotations
+
+import logging
+
+from tornado.iostream import IOStream
+from tornado.tcpserver import TCPServer
+
+from badgeryoke.actor import Turns
+from badgeryoke.core import Core
+from badgeryoke.host_group import HostGroup
+from badgeryoke.resp.client_link import ClientLink
+
+log = logging.getLogger("badgeryoke")
+
+# How long a client may take over a command, the first from its connection on, and how long it may keep a
+# connection with nothing open: one that asks once and stays, or says nothing, holds descriptor and memory.
+COMMAND_S, IDLE_S = 2.0, 20.0
+# Where the bound on connections is reached, the one that has been idle longest gives way, if for so long; one
+# that has not yet said a word counts as idle for longer, since whoever has something to ask does so at once.
+GIVE_WAY_S, SILENT_AHEAD_S = 0.1, 2.0
+# From a part of the descriptors on (gateway.py), those idle for so long are closed, the longest first:
+# clients have a bound of their own, a third of the descriptors, and where a crowd holds all of it nobody else
+# can come.
+CROWD_S = 0.3
+CLIENT_BUFFER = 128 * 1024  # bound of what is read of a client and not yet taken
+CLIENT_WRITES = 128 * 1024  # and of what it has not yet fetched, ...
+UNREAD_S = 2.5  # ... which it must fetch within this time
+
+
+class RespFront(TCPServer):
+    """Accepts the platform's clients."""
+
+    def __init__(self, core: Core, loop: Turns, most: int, host_group: HostGroup, most_held: int,
+                 crowd: int) -> None:
+        super().__init__(max_buffer_size=CLIENT_BUFFER)
+        self._crowd = crowd
+        self._most_held = most_held
+        self._core, self._loop, self._most, self._host_group = core, loop, most, host_group
+        self.links: dict[ClientLink, None] = {}
+        self.turning = False  # PING says no: clients are sent away
+        self._closing = False  # connections end between requests, those to come after their first
+        self._full_logged = False
+
+    def ready(self) -> bool:
+        return self._host_group.ready and not self.turning
+
+    async def handle_stream(self, stream: IOStream, address: object) -> None:
+        if len(self.links) >= self._most and not self._make_room(GIVE_WAY_S):
+            if not self._full_logged:
+                self._full_logged = True
+                log.warning("clients are turned away: %d connections are open and in use", len(self.links))
+            stream.close()
+            return
+        stream.set_nodelay(True)
+        stream.max_write_buffer_size = CLIENT_WRITES
+        link = ClientLink(stream, self._core, self._loop, self.ready, self._closed)
+        self.links[link] = None
+        if self._closing:
+            link.end()
+        await link.serve()
+
+    def close_links(self) -> None:
+        """From now on connections end between requests."""
+        self._closing = True
+        for link in list(self.links):
+            link.end()
+
+    def keep_links(self) -> None:
+        """Connections to come are kept; those that are ending end."""
+        self._closing = False
+
+    def _make_room(self, least_s: float) -> bool:
+        """Close the connection whose client has least use of it; False where none was idle for so long."""
+        now = self._loop.time()
+        worst: tuple[float, ClientLink] | None = None
+        for link in self.links:
+            idle_s = now - link.idle_since
+            if idle_s < least_s:
+                continue
+            idle_s += 0.0 if link.spoke else SILENT_AHEAD_S
+            if (worst is None or idle_s > worst[0]) and link.idle:
+                worst = idle_s, link
+        if worst is None:
+            return False
+        worst[1].drop()
+        self._closed(worst[1])  # it counts no longer, though its end is still in its mailbox
+        return True
+
+    def sweep(self) -> None:
+        """Close what has been idle, or not come to the end of a command, for too long."""
+        now = self._loop.time()
+        held = 0
+        for link in list(self.links):
+            held += link.held
+            if (now - link.idle_since >= IDLE_S and link.idle) or now - link.begun_at >= COMMAND_S:
+                link.drop()
+            elif now - link.unread_since >= UNREAD_S:
+                link.abort()
+        if held > self._most_held:
+            for link in sorted(self.links, key=lambda link: link.held, reverse=True):
+                held -= link.held
+                link.drop()
+                if held <= self._most_held:
+                    break
+        while len(self.links) > self._crowd and self._make_room(CROWD_S):
+            pass
+        if self._full_logged and len(self.links) < self._most * 3 // 4:
+            self._full_logged = False
+            log.info("clients are taken again: %d connections are open", len(self.links))
+
+    def _closed(self, link: ClientLink) -> None:
+        self.links.pop(link, None)
--- a/martenstep/decide.py
+++ b/martenstep/decide.py
@@ -60,6 +60,7 @@
 CONNECTED_MS = 10_000.0  # a server that answered within this is taken to hold a connection still
 FAIL_GAIN = 0.4  # weight of one answer, or of none, in a server's failures: two in a row tell
 FAIL_TAU_MS = 5000.0  # how fast failures are forgotten, so that a server is tried again
+AVOIDED = 0.3  # share of failures from which a server counts as avoided in what is told of the fleet
 FAIL_COST = 6.0  # a server that always fails costs this many times more than a sound one
 SILENT_TIMES = 4.0  # no answer for this many expected latencies is silence
 SILENT_OF_POOL = 0.75  # of the latency over all servers is expected at least: few answers tell of each
@@ -424,6 +425,11 @@
         self._up = [p for p in self._peers.values() if p.info.state is State.UP]
         self._up.sort(key=lambda p: p.rank)
 
+    def avoided(self, now: float) -> int:
+        """How many are listed and draining, or have failed lately."""
+        listed = [p for p in self._peers.values() if p.info.state is not State.GONE]
+        return sum(p.info.state is State.DRAINING or p.failures(now) > AVOIDED for p in listed)
+
     def _step_back(self, now: float, peer: Peer) -> None:
         """To any place behind the aperture: memory of a bad server by what was tried since, not by time.  Not
         to the end, where all gateways would leave it until all others had failed them too."""
@@ -673,6 +679,10 @@
                     return [Subscribe()]
         return []
 
+    def avoided(self, now: float) -> int:
+        """How many of the listed servers are sent nothing, or only what looks whether they are back."""
+        return self._fleet.avoided(now)
+
     def _drop(self, rid: str) -> None:
         """Forget a request that has its final answer, or whose client left, and free its place."""
         job = self._jobs.pop(rid, None)
--- a/martenstep/watch/guarded.py
+++ b/martenstep/watch/guarded.py
@@ -62,6 +62,10 @@
         sight = self.watch.sight
         return self._guard.since(customer, sight.changed - sight.unseen_ms)
 
+    def avoided(self, now: float) -> int:
+        """How many of the listed servers get nothing now."""
+        return self.module.avoided(now)
+
     def handle(self, now: float, event: Event) -> list[Action]:
         """Decide on one event."""
         self._now = now
--- /dev/null
+++ b/tests/test_operations.py
@@ -0,0 +1,264 @@
+"""Daily operations on real sockets: the second address, figures, and the drain."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import re
+import socket
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+
+from badgeryoke.config import ConfigError, read_config
+from badgeryoke.drain import TRANSITIONS, Drain, Effect, Event, State
+from badgeryoke.figures import Figures
+from badgeryoke.gateway import App
+from badgeryoke.management import front as management_front
+from badgeryoke.management.render import Gauges, render
+from badgeryoke.resp import client_link as client_link_module
+from tests.standins import HOST, Backend, Counter, Discovery, config, connect, entry, gateway, query, roster
+from tests.test_front import ask, play
+from tests.test_service import until
+from tests.test_wire import PARAMS
+
+
+@asynccontextmanager
+async def operated(script: list[bytes | None] | None = None, drain_s: float = 0.0,
+                   with_counter: bool = False) -> AsyncIterator[tuple[App, Backend]]:
+    """A gateway with a second address before one backend."""
+    async with (Backend(script=script) as node, Discovery(entry("a", node.port)) as list_,
+                Counter() as counter):
+        made = config(list_.port, counter.port if with_counter else None, roster(entry("a", node.port)))
+        async with gateway(replace(made, mgmt=(HOST, 0), drain_s=drain_s)) as app:
+            yield app, node
+
+
+async def call(app: App, line: bytes = b"STATUS\n", half_close: bool = False) -> list[str]:
+    """All lines of one answer, to the connection's end."""
+    reader, writer = await connect(app.mgmt_address)
+    writer.write(line)
+    if half_close:
+        writer.write_eof()
+    lines = (await reader.read()).decode().splitlines()
+    writer.close()
+    return lines
+
+
+async def figures(app: App) -> dict[str, int]:
+    first, *lines, last = await call(app, b"METRICS\n")
+    assert (first, last) == ("+OK", ".")
+    return {name: int(count) for name, count in (line.rsplit(" ", 1) for line in lines)}
+
+
+# The second address -----------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(("line", "begins"), [
+    (b"STATUS\n", "+OK"), (b"STATUS\r\n", "+OK"), (b" STATUS \n", "+OK"), (b"METRICS\n", "+OK"),
+    (b"RESUME\n", "+OK"), (b"\n", "-ERR empty"), (b"status\n", "-ERR unknown"),
+    (b"\xff\x00\n", "-ERR unknown"),
+    (b"x" * 300, "-ERR line too long"), (b"*1\r\n$4\r\nPING\r\n", "-ERR unknown"),
+])
+def test_each_line_gets_one_answer(line: bytes, begins: str) -> None:
+    async def test() -> None:
+        async with operated() as (app, _):
+            assert (await call(app, line))[0].startswith(begins)
+            if line.endswith(b"\n"):  # also to a caller that has closed its side behind the line
+                assert (await call(app, line, half_close=True))[0].startswith(begins)
+
+    play(test)
+
+
+def test_callers_that_finish_no_call_hold_up_nobody(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(management_front, "MOST_CALLERS", 4)
+
+    async def test() -> None:
+        async with operated() as (app, _):
+            idle = [await connect(app.mgmt_address) for _ in range(4)]
+            idle[3][1].write(b"STAT")
+            assert (await call(app))[0] == "+OK serving"
+            assert await idle[0][0].read() == b""  # the oldest gave way
+            idle[3][1].write(b"US\n")
+            assert (await idle[3][0].read()).startswith(b"+OK")
+            for _, writer in idle:
+                writer.close()
+
+    play(test)
+
+
+def test_status_says_no_until_a_list_is_known_and_when_it_ends() -> None:
+    async def test() -> None:
+        async with Discovery() as list_:
+            list_.raw = [b"no list"]
+            async with gateway(replace(config(list_.port, None), mgmt=(HOST, 0), drain_s=0.05)) as app:
+                assert await call(app) == ["-ERR no list of servers yet"]
+                app.end()
+                assert await call(app) == ["-ERR leaving"]
+                assert (await call(app, b"RESUME\n"))[0].startswith("-ERR")
+
+    play(test)
+
+
+@pytest.mark.parametrize(("mgmt", "words"), [
+    ("nowhere", "mgmt: expected HOST:PORT"), (f"{HOST}:6379", "mgmt: the same address as listen")])
+def test_a_faulty_second_address_names_its_key(mgmt: str, words: str, tmp_path: Path) -> None:
+    raw = {"listen": f"{HOST}:6379", "discovery": f"{HOST}:1", "counter": f"{HOST}:1", "settings": PARAMS}
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps({**raw, "mgmt": mgmt}))
+    with pytest.raises(ConfigError, match=words):
+        read_config({"LB_CONFIG": str(path)}, tmp_path)
+    with pytest.raises(ConfigError, match=words.replace("mgmt", "LB_MGMT")):
+        read_config({"LB_CONFIG": str(path), "LB_MGMT": mgmt}, tmp_path)
+    path.write_text(json.dumps(raw))
+    assert read_config({"LB_CONFIG": str(path)}, tmp_path).mgmt is None
+    with pytest.raises(ConfigError, match="LB_SOCKET_FD"):
+        read_config({"LB_CONFIG": str(path), "LB_SOCKET_FD": "999"}, tmp_path)
+    with socket.socket() as not_listening, pytest.raises(ConfigError, match="LB_SOCKET_FD"):
+        read_config({"LB_CONFIG": str(path), "LB_SOCKET_FD": str(not_listening.fileno())}, tmp_path)
+
+
+# Figures ----------------------------------------------------------------------------------------------
+
+
+def test_labels_are_escaped_and_a_dropped_class_keeps_its_counts() -> None:
+    made = Figures(['a"\n\\'])
+    made.add_classes(["b"])
+    text = render(made, Gauges(1, 2, 3))
+    assert 'lb_downstream_requests{lane="a\\"\\n\\\\",result="completed"} 0\n' in text
+    assert 'lane="b"' in text and "\nlb_pending 1\nlb_members 2\nlb_members_unavailable 3\n" in text
+
+
+def test_each_way_a_query_can_end_counts_once() -> None:
+    """Served, refused for a quota, failed after an error and after a reset: what stand-ins saw and what the
+    figures say are equal."""
+    async def test() -> None:
+        script = [None, b"-ERR failed\r\n", b"RESET"]
+        async with operated(script=script) as (app, node):
+            reader, writer = await connect(app.address)
+            writer.write(query("open", "load-send", key="k0"))
+            await until(lambda: len(node.commands) == 1)
+            assert (await figures(app))["lb_pending"] == 1
+            answers = [await ask(app, query(f"f{n}", "load-send", key=f"k{n}")) for n in (1, 2)]
+            answers += [await ask(app, query(f"s{n}")) for n in range(3)]
+            answers.append(await ask(app, query("big", units=6, plan="small", customer=9)))
+            answers.append(await ask(app, query("over", units=6, plan="small", customer=9)))
+            answers.append(await ask(app, query("over2", units=6, plan="small", customer=9)))
+            node.writers[0].write(b"*1\r\n$1\r\nv\r\n")
+            assert await reader.readexactly(7) == b"$1\r\nv\r\n"
+            writer.close()
+            got = await figures(app)
+            flat = [str(one) for answer in answers for one in answer]
+            served = sum("value" in one for one in flat) + 1
+            refused = sum("BUSY" in one for one in flat)
+            by_result = {result: sum(got[f'lb_downstream_requests{{lane="{lane}",result="{result}"}}']
+                                     for lane in ("balance-check", "load-send"))
+                         for result in ("completed", "rejected", "failed")}
+            assert by_result == {"completed": served, "rejected": refused,
+                                 "failed": len(flat) + 1 - served - refused}
+            assert by_result["rejected"] >= 1
+            assert got["lb_upstream_requests"] == len(node.commands)
+            assert (got["lb_pending"], got["lb_members"]) == (0, 1)
+
+    play(test)
+
+
+# The drain --------------------------------------------------------------------------------------------
+
+
+def test_the_drain_ends_in_one_way_from_every_state() -> None:
+    """Whatever came before, SIGTERM and its timers lead to the end; and nothing leads back from there."""
+    for start in State:
+        drain = Drain()
+        drain.state = start
+        for event in (Event.PAUSE, Event.TERM, Event.RESUME, Event.TURNED, Event.PAUSE, Event.EMPTY,
+                      Event.RESUME, Event.SETTLED):
+            drain.post(event)
+        assert drain.state is State.ENDED and drain.ending
+    leaves = {state for state, event in TRANSITIONS if Effect.LEAVE in TRANSITIONS[state, event][1]}
+    assert leaves == {State.CLOSING, State.SETTLING}
+
+
+def test_a_timer_of_an_earlier_round_does_nothing() -> None:
+    drain = Drain()
+    drain.post(Event.PAUSE)
+    old = drain.round
+    drain.post(Event.RESUME)
+    drain.post(Event.PAUSE)
+    assert drain.post(Event.TURNED, old) == ()
+    assert drain.post(Event.TURNED, drain.round) == (Effect.CLOSE_LINKS,)
+    assert drain.post(Event.PAUSE) == () and drain.state.value == "drained"
+
+
+def test_pause_sends_clients_away_between_requests_and_resume_takes_them_again() -> None:
+    async def test() -> None:
+        async with operated(script=[None], drain_s=0.05) as (app, node):
+            busy_reader, busy = await connect(app.address)
+            busy.write(query("open"))
+            idle_reader, idle = await connect(app.address)
+            idle.write(b"*1\r\n$4\r\nPING\r\n")
+            assert await idle_reader.readline() == b"+PONG\r\n"
+            await until(lambda: node.commands)
+            assert await call(app, b"PAUSE\n") == ["+OK"]
+            assert await call(app, b"PAUSE\n") == ["+OK"]  # harmless
+            idle.write(b"*1\r\n$4\r\nPING\r\n")
+            assert (await idle_reader.readline()).startswith(b"-ERR")
+            idle.write(query("still"))
+            assert await idle_reader.readexactly(11) == b"$5\r\nvalue\r\n"  # clients go on for a while
+            assert await idle_reader.read() == b""
+            assert await call(app) == ["+OK drained"]
+            node.writers[0].write(b"*1\r\n$4\r\nlast\r\n")
+            assert await busy_reader.read() == b"$4\r\nlast\r\n"  # its answer, then the end
+            assert await ask(app, query("late")) == [b"value"]  # a straggler gets one answer, then the end
+            assert await call(app, b"RESUME\n") == ["+OK"]
+            back_reader, back = await connect(app.address)
+            for n in range(2):
+                back.write(b"*1\r\n$4\r\nPING\r\n" + query(f"back{n}"))
+                assert await back_reader.readexactly(18) == b"+PONG\r\n$5\r\nvalue\r\n"
+            for writer in (busy, idle, back):
+                writer.close()
+
+    play(test)
+
+
+def test_a_client_that_never_stops_asking_is_cut_off_behind_an_answer(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(client_link_module, "END_TAKES_S", 0.1)
+
+    async def test() -> None:
+        async with operated() as (app, _):
+            reader, writer = await connect(app.address)
+
+            async def asking() -> int:
+                sent = 0
+                while not reader.at_eof():
+                    writer.write(query(f"q{sent}") + query(f"q{sent + 1}"))
+                    sent += 2
+                    await asyncio.sleep(0)
+                return sent
+
+            asks = asyncio.ensure_future(asking())
+            await until(lambda: app.core.figures.ended["balance-check"][0] > 3)
+            await call(app, b"PAUSE\n")
+            read = await reader.read()
+            asks.cancel()
+            writer.close()
+            assert re.fullmatch(rb"(\$5\r\nvalue\r\n|-BUSY \d+\r\n)+", read)  # whole answers alone
+            assert app.core.unanswered == 0
+
+    play(test)
+
+
+def test_sigterm_while_paused_and_pause_while_it_ends() -> None:
+    async def test() -> None:
+        async with operated(drain_s=0.05) as (app, _):
+            await call(app, b"PAUSE\n")
+            app.end()
+            assert await call(app, b"PAUSE\n") == ["+OK"]
+            assert (await call(app, b"RESUME\n"))[0].startswith("-ERR it is leaving")
+            await app.done.wait()
+
+    play(test)
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -21,6 +21,7 @@
 from badgeryoke.config import Config, ConfigError
 from badgeryoke.execution import End, Execution, Query
 from badgeryoke.gateway import App
+from badgeryoke.resp import front as front_module
 from badgeryoke.resp.client_link import MOST_FAULTS
 from badgeryoke.resp.server_link import RespServerLink, settle
 from martenstep.interface import Verdict
@@ -169,7 +170,7 @@
 def test_an_idle_connection_gives_way_to_a_new_one(monkeypatch: pytest.MonkeyPatch) -> None:
     """Clients that asked once and stayed held every place, and all that came after were turned away."""
     monkeypatch.setattr(gateway_module, "CLIENT_PART", 3 / 1024)
-    monkeypatch.setattr(gateway_module, "GIVE_WAY_S", 0.0)
+    monkeypatch.setattr(front_module, "GIVE_WAY_S", 0.0)
 
     async def test() -> None:
         async with one_gateway(script=[None]) as (app, node, _):
@@ -203,7 +204,7 @@
                 assert await read_reply(reader) == b"value"
                 now = app._loop.time()
                 for link in app._front.links:
-                    link.idle_since = now - gateway_module.GIVE_WAY_S  # so much later
+                    link.idle_since = now - front_module.GIVE_WAY_S  # so much later
 
     play(test)
 
@@ -212,7 +213,7 @@
         monkeypatch: pytest.MonkeyPatch) -> None:
     """Clients hold a third of the descriptors at most: a crowd that stayed kept all others from coming."""
     monkeypatch.setattr(gateway_module, "CROWD_PART", 4 / 1024)
-    monkeypatch.setattr(gateway_module, "CROWD_S", 0.0)
+    monkeypatch.setattr(front_module, "CROWD_S", 0.0)
 
     async def test() -> None:
         async with one_gateway() as (app, _, _):
@@ -230,7 +231,7 @@
 @pytest.mark.parametrize("sent", [b"", b"*4\r\n$9\r\nSVC.QUERY\r\n", b"*1\r\n$60000\r\nxx"])
 def test_a_client_that_says_nothing_or_half_a_command_is_closed(
         sent: bytes, monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(gateway_module, "COMMAND_S", 0.3)
+    monkeypatch.setattr(front_module, "COMMAND_S", 0.3)
 
     async def test() -> None:
         async with one_gateway() as (app, _, _):
@@ -243,7 +244,7 @@
 
 def test_half_a_command_behind_an_open_one_costs_the_open_one_nothing(
         monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(gateway_module, "COMMAND_S", 0.3)
+    monkeypatch.setattr(front_module, "COMMAND_S", 0.3)
 
     async def test() -> None:
         async with one_gateway(script=[None]) as (app, node, _):
@@ -262,7 +263,7 @@
 def test_a_connection_whose_end_is_in_the_mailbox_is_not_looked_at(monkeypatch: pytest.MonkeyPatch) -> None:
     """Looking for unread bytes in it raised, and the newcomer's connection was left hanging."""
     monkeypatch.setattr(gateway_module, "CLIENT_PART", 1 / 1024)
-    monkeypatch.setattr(gateway_module, "GIVE_WAY_S", 0.0)
+    monkeypatch.setattr(front_module, "GIVE_WAY_S", 0.0)
 
     async def test() -> None:
         async with one_gateway() as (app, _, _):
@@ -381,7 +382,7 @@
 
 
 def test_a_client_that_does_not_fetch_its_answers_is_closed(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(gateway_module, "UNREAD_S", 0.3)
+    monkeypatch.setattr(front_module, "UNREAD_S", 0.3)
     value = b"*1\r\n" + resp("v" * 65_000)[4:]
 
     async def test() -> None:
