Take new settings at SIGHUP in one step; turn a faulty file down whole

Change: a file is read and checked whole, each figure a finite number, deadline and attempts above 0, no key missing that the file in force has. Then core, module, fronts, links and counter take it in one turn. An open query keeps its class, command and attempts.

--- a/badgeryoke/config.py
+++ b/badgeryoke/config.py
@@ -26,6 +26,32 @@
     """Configuration that cannot be used: names the faulty key."""
 
 
+# The keys of an object, with what stands under each; None for what is no object.  Of a list of objects, the
+# keys that all of them have.
+Shape = Mapping[str, "Shape"] | None
+MAY_GO = frozenset({"known", "seed", "mgmt", "aim_stretch"})  # a file may lack these though the last had them
+
+
+def shape(value: object) -> Shape:
+    """The keys that a file read later must have as well."""
+    if isinstance(value, dict):
+        return {key: shape(inner) for key, inner in value.items() if key not in MAY_GO}
+    if isinstance(value, list) and value and all(isinstance(entry, dict) for entry in value):
+        common = set.intersection(*(set(entry) for entry in value))
+        return {key: shape(value[0][key]) for key in sorted(common - MAY_GO)}
+    return None
+
+
+def lacking(old: Shape, new: Shape, path: str = "") -> str | None:
+    """The first key of the old file that the new one lacks."""
+    for key, inner in (old or {}).items():
+        if new is None or key not in new:
+            return path + key
+        if (found := lacking(inner, new[key], f"{path}{key}.")) is not None:
+            return found
+    return None
+
+
 @dataclass(frozen=True, slots=True)
 class DiameterConfig:
     """The second front and the Diameter servers, as deploy/diameter.toml gives them."""
@@ -54,12 +80,12 @@
     memory_mb: float
     known: Roster | None
     settings: Settings
-    safe: frozenset[str]  # classes that are safe to repeat
     report_names: tuple[str, ...]  # the load report's fields as the wire names them
     connect_ms: float
     idle_ms: float
     drain_s: float  # from SIGTERM or PAUSE until connections are closed: the front must have turned away
     mgmt: Address | None = None  # the operators' address; None: nothing listens
+    shape: Shape = None  # the keys of the file
     socket_fd: int | None = None  # the clients' listening socket, held by the platform
     diameter: DiameterConfig | None = field(default=None)
     operators: Operators = field(default_factory=Operators)
@@ -161,7 +187,6 @@
         memory_mb=_number("limits", limits, "memory_mb", 192, 16),
         known=known,
         settings=settings,
-        safe=frozenset(c.name for c in settings.classes if c.effect.value == "safe"),
         report_names=tuple(map(str, feedback.get("fields", ()))),
         connect_ms=_number("settings.policy_limits", policy, "dial_timeout_ms", 250, 1),
         idle_ms=_number("settings.policy_limits", policy, "conn_idle_ms", 30_000, 1),
@@ -169,6 +194,7 @@
         diameter=read_diameter(root / "deploy" / "diameter.toml", settings),
         operators=operators,
         mgmt=mgmt,
+        shape=shape(raw),
         socket_fd=_listening(environ.get("LB_SOCKET_FD")),
     )
 
--- a/badgeryoke/core.py
+++ b/badgeryoke/core.py
@@ -77,6 +77,9 @@
     def avoided(self, now: float) -> int:
         """How many of the listed servers get nothing now."""
 
+    def retune(self, settings: api.Settings) -> None:
+        """Go by new settings; what is open keeps what it began with."""
+
 
 class _Running:
     """A query that is owed its answer, or whose last execution is still out."""
@@ -109,18 +112,30 @@
             self._module = self._watched = Guarded(settings, seed)
         self._clock, self._links, self._counter = clock, links, counter
         self._most_bodies = most_bodies
-        self._classes = {cls.name: cls for cls in settings.classes}
-        self._plans = {plan.name for plan in settings.plans}
-        self._gateways, self._max_units = settings.gateways, settings.max_units
+        self._go_by(settings)
         self._ids: set[str] = set()  # of the queries that are owed an answer
         self._running: dict[str, _Running] = {}
         self._wakes: dict[int, asyncio.TimerHandle] = {}  # as many as the module has asked for and not had
-        self._aim_ms = min((cls.aim_ms for cls in settings.classes), default=1000.0)
         self._lag_ms, self._random = 0.0, random.Random(seed)
         self._next = self._bodies = 0
         self.faults = 0
         self.figures = Figures(self._classes)
 
+    def _go_by(self, settings: api.Settings) -> None:
+        self._classes = {cls.name: cls for cls in settings.classes}
+        self._plans = {plan.name for plan in settings.plans}
+        self._gateways, self._max_units = settings.gateways, settings.max_units
+        self._aim_ms = min((cls.aim_ms for cls in settings.classes), default=1000.0)
+
+    def retune(self, settings: api.Settings) -> None:
+        """Take up new settings, behind what has come already."""
+        self.post(self._retune, settings)
+
+    def _retune(self, settings: api.Settings) -> None:
+        self._module.retune(settings)
+        self._go_by(settings)
+        self.figures.add_classes(self._classes)
+
     @property
     def unanswered(self) -> int:
         """Queries that are owed an answer still."""
@@ -159,6 +174,7 @@
         rid = str(self._next)  # of our own: a client that repeats an id must not cost another its answer
         guard = min(GUARD_MS, GUARD_PART * query.remaining_ms)
         cls = self._classes[query.cls]
+        query.safe = cls.effect is api.Effect.SAFE  # kept with it, whatever new settings make of the class
         harmless = (cls.effect is api.Effect.SAFE
                     or (cls.effect is api.Effect.KEYED and cls.group is api.Group.ALL))
         run = _Running(rid, query, answer, self._clock() + query.remaining_ms - guard, harmless)
@@ -180,13 +196,15 @@
         self.post(self._decide, event)
 
     def _take(self, run: _Running) -> None:
-        now = self._clock()
+        now, query = self._clock(), run.query
         left = run.deadline_ms - now
-        body = len(run.query.body or b"")
+        body = len(query.body or b"")
         answer: Answer | None = None
-        if run.query.id in self._ids:
+        if query.id in self._ids:
             # Servers know a request by its id: they would take a second one for a copy of the first.
             answer = Failed("id of a request that is open")
+        elif query.cls not in self._classes or query.plan not in self._plans:
+            answer = Refused(FALLBACK_RETRY_MS)  # new settings came between its check and this
         elif left <= 0 or len(self._running) >= MOST_QUERIES or self._bodies + body > self._most_bodies:
             answer = Refused(FALLBACK_RETRY_MS)
         elif self._shed():
@@ -197,12 +215,11 @@
                 self._count(run, answer)
                 give(answer)
             return
-        self._ids.add(run.query.id)
+        self._ids.add(query.id)
         self._running[run.id] = run
         self._bodies += body
         # A timer of the core's own keeps the deadline, so that no fault of the module loses a query.
         run.timer = self._loop.call_later(left / 1000.0, self.deliver, self._overdue, run)
-        query = run.query
         self._decide(api.Request(run.id, query.cls, query.plan, query.customer, left, query.units,
                                  query.spread, query.first, query.retry), run)
 
--- a/badgeryoke/counter.py
+++ b/badgeryoke/counter.py
@@ -123,6 +123,10 @@
         answered.  Until the new one is up, calls are written to the old."""
         self.post(self._move, address)
 
+    def retune(self, timeout_ms: float) -> None:
+        """A new time-out, for calls that are out as well: their answers come in the same order."""
+        self._timeout_ms = max(timeout_ms, 1.0)
+
     def add(self, name: int, units: float, life_ms: float, done: Callable[[Total], None]) -> None:
         """Make one call; done is called once, no later than the time-out."""
         self.post(self._add, _Call(name, encode(name, units, life_ms), self._clock(), done))
--- a/badgeryoke/diameter/client_link.py
+++ b/badgeryoke/diameter/client_link.py
@@ -148,6 +148,10 @@
         super().__init__(loop)
         self._config, self._core, self._clock = config, core, clock
         self._repeats = Repeats(config.answers_kept_s, loop.time)
+        self.retune(settings)
+
+    def retune(self, settings: Settings) -> None:
+        """The classes and the fleet's size, by new settings."""
         self._gateways = settings.gateways
         self._safe = next((c for c in settings.classes if c.effect is Effect.SAFE), None)
         self._keyed = next((c for c in settings.classes if c.effect is Effect.KEYED), None)
--- a/badgeryoke/diameter/server_link.py
+++ b/badgeryoke/diameter/server_link.py
@@ -127,7 +127,7 @@
         execution.begun = True
         execution.on_abandon = lambda: self.post(self._abandoned, number, execution)
         service = owner.services.get(query.plan)
-        self._out.append(encode(query, self.me, query.cls in owner.safe, service, number, repeat))
+        self._out.append(encode(query, self.me, bool(query.safe), service, number, repeat))
         self._unwritten.append(execution)
 
     def turn_ended(self) -> None:
@@ -184,11 +184,11 @@
     """One Diameter server: connected when first needed, and again when needed after a loss."""
 
     def __init__(self, address: tuple[str, int], loop: Turns, clock: Callable[[], float], *, me: Identity,
-                 safe: frozenset[str], services: dict[str, int], connect_ms: float, idle_ms: float,
+                 services: dict[str, int], connect_ms: float, idle_ms: float,
                  watchdog_s: float) -> None:
         super().__init__(loop)
         self.address, self.clock, self.me = address, clock, me
-        self.safe, self.services = safe, services
+        self.services = services
         self._connect_ms, self._watchdog_s = connect_ms, watchdog_s
         self._idle_s = idle_ms * IDLE_PART / 1000.0
         self._connection: _Connection | None = None
--- a/badgeryoke/execution.py
+++ b/badgeryoke/execution.py
@@ -45,7 +45,7 @@
     retry: bool = False
     key: str = ""
     body: bytes | None = None
-    safe: bool | None = None  # whether it came as safe to repeat; None: its wire does not say
+    safe: bool | None = None  # whether it is safe to repeat; None: its wire does not say, the core does
     # A repeat of something another gateway may have run: no attempt may be written after this time.
     send_by_ms: float | None = None
 
--- a/badgeryoke/gateway.py
+++ b/badgeryoke/gateway.py
@@ -15,7 +15,7 @@
 from tornado.netutil import bind_sockets
 
 from badgeryoke.actor import Turns, WallClock
-from badgeryoke.config import Config, ConfigError
+from badgeryoke.config import Config, ConfigError, lacking
 from badgeryoke.core import Core
 from badgeryoke.counter import CounterLink
 from badgeryoke.diameter.client_link import DiameterFront
@@ -44,6 +44,9 @@
 # SIGKILL comes no sooner after SIGTERM than the longest deadline, counted as 3 s where it is longer, and
 # 0.7 s more; what was taken in the grace has its whole deadline still.
 KILL_COUNTS_S, KILL_MARGIN_S = 3.0, 0.55
+# What a reload does not change.
+OF_THE_PROCESS = ("name", "listen", "seed", "sockets", "memory_mb", "known", "drain_s", "mgmt", "socket_fd",
+                  "diameter", "operators")
 
 
 class NoCounter:
@@ -127,30 +130,45 @@
         await self.done.wait()
 
     def reload(self) -> None:
-        """SIGHUP: read the configuration again and go by its addresses of discovery and the counter.
+        """SIGHUP: read the configuration again and go by its settings and addresses, all in one step.
 
-        A faulty one is not taken.  What else differs waits for the next start: queries are under way by it.
+        A faulty one is turned down whole.  Queries under way keep the class they began with.  What belongs to
+        the process (its name, addresses, limits and the operators' files) waits for the next start.
         """
         if self._reread is None:
             return
         try:
             config = self._reread()
+            if missing := lacking(self._config.shape, config.shape):
+                raise ConfigError(f"{missing}: missing, and the file in force has it")
+            if config.settings.has_counter and self._counter is None:
+                raise ConfigError("settings.family_info.has_counter: a counter waits for the next start")
         except ConfigError as fault:
             self.core.figures.reload_errors += 1
             log.error("reload: configuration: %s; the old one stays", fault)
             return
-        old, self._config = self._config, replace(
-            self._config, discovery=config.discovery, counter=config.counter or self._config.counter)
-        self._hosts.move(config.discovery)
-        if self._counter is not None and config.counter is not None:
-            self._counter.move(config.counter)
-        for key in ("name", "listen", "sockets", "memory_mb", "settings", "diameter", "operators"):
-            if getattr(config, key) != getattr(old, key):
-                log.warning("reload: %s differs: taken up at the next start only", key)
+        old = self._config
+        kept = {key: getattr(old, key) for key in OF_THE_PROCESS}
+        self._config = taken = replace(config, counter=config.counter or old.counter, **kept)
+        self._hosts.move(taken.discovery)
+        if self._counter is not None and taken.counter is not None:
+            self._counter.move(taken.counter)
+            self._counter.retune(taken.settings.counter_timeout_ms)
+        for _, link in self._links.values():
+            if isinstance(link, RespServerLink):
+                link.retune(taken.report_names, taken.connect_ms, taken.idle_ms, taken.settings.max_units)
+        if self._diameter is not None:
+            self._diameter.register.retune(taken.settings)
+        self.core.retune(taken.settings)
         self.core.figures.reloads += 1
-        log.info("reload: discovery at %s:%d", *config.discovery)
-        if config.counter is not None:
-            log.info("reload: counter at %s:%d", *config.counter)
+        for key in OF_THE_PROCESS:
+            if key not in ("seed", "known") and getattr(config, key) != getattr(old, key):
+                log.warning("reload: %s differs: taken up at the next start only", key)
+        log.info("reload: discovery at %s:%d", *taken.discovery)
+        if taken.counter is not None:
+            log.info("reload: counter at %s:%d", *taken.counter)
+        if taken.settings != old.settings:
+            log.info("reload: new settings, classes %s", ", ".join(c.name for c in taken.settings.classes))
 
     def _link(self, server: int) -> RespServerLink | DiameterServerLink | None:
         found = self._links.get(server)
@@ -178,10 +196,10 @@
         config, second = self._config, self._config.diameter
         if second is not None and host.kind in second.server_kinds:
             return DiameterServerLink(
-                host.address, self._loop, self._clock, me=self._me, safe=config.safe, services=self._services,
+                host.address, self._loop, self._clock, me=self._me, services=self._services,
                 connect_ms=config.connect_ms, idle_ms=config.idle_ms, watchdog_s=second.watchdog_s)
         return RespServerLink(
-            host.address, self._loop, self._clock, safe=config.safe, report_names=config.report_names,
+            host.address, self._loop, self._clock, report_names=config.report_names,
             connect_ms=config.connect_ms, idle_ms=config.idle_ms, most=most,
             most_units=config.settings.max_units)
 
--- a/badgeryoke/resp/server_link.py
+++ b/badgeryoke/resp/server_link.py
@@ -121,12 +121,12 @@
     """One backend."""
 
     def __init__(self, address: tuple[str, int], loop: Turns, clock: Callable[[], float], *,
-                 safe: frozenset[str], report_names: tuple[str, ...], connect_ms: float, idle_ms: float,
+                 report_names: tuple[str, ...], connect_ms: float, idle_ms: float,
                  most: int, most_units: float = MOST_FIGURE) -> None:
         super().__init__(loop)
         self.address = address
         self._most_units = most_units
-        self._clock, self._safe, self._names = clock, safe, report_names
+        self._clock, self._names = clock, report_names
         self._connect_ms, self._idle_ms, self._most = connect_ms, idle_ms * IDLE_PART, most
         self._idle: list[_Connection] = []
         self._all: dict[_Connection, None] = {}
@@ -135,6 +135,12 @@
         self._closed = False
         self._complained = False
 
+    def retune(self, report_names: tuple[str, ...], connect_ms: float, idle_ms: float,
+               most_units: float) -> None:
+        """Go by new settings from the next attempt on."""
+        self._names, self._most_units = report_names, most_units
+        self._connect_ms, self._idle_ms = connect_ms, idle_ms * IDLE_PART
+
     def start(self, execution: Execution) -> None:
         """Carry out an attempt on an idle connection, or on one opened for it."""
         self.post(self._start, execution)
@@ -229,7 +235,7 @@
         connection.execution = execution
         execution.on_abandon = lambda: self.post(self._abandoned, connection, execution)
         query = execution.query
-        data = encode(query, query.cls in self._safe, execution.deadline_ms - now)
+        data = encode(query, bool(query.safe), execution.deadline_ms - now)
         execution.begun = True
         future = connection.stream.write(data)
         if not connection.stream.writing():
--- a/martenstep/decide.py
+++ b/martenstep/decide.py
@@ -104,9 +104,13 @@
 
     def __init__(self, rate: float, burst: float, tat: float) -> None:
         self.half: Meter | None = None  # the part that may be used while not all gateways are heard
+        self.tat = tat
+        self.set(rate, burst)
+
+    def set(self, rate: float, burst: float) -> None:
+        """Go by these figures."""
         self.per_unit = SECOND_MS / rate if rate > 0 else math.inf
         self.tolerance = burst * self.per_unit if rate > 0 else 0.0
-        self.tat = tat
 
     def wait(self, now: float, units: float) -> float:
         """How long until a request conforms; 0 or less where it does now.
@@ -144,15 +148,9 @@
         # would pass, or nobody.
         self.head: Meter | None = None
         if plan.ceiling_rate > 0:
-            depth = HEAD_PART * max(plan.ceiling_burst + plan.ceiling_slack - plan.burst, 0.0)
-            holders = min(spread, int(depth / max(settings.max_units, 1.0)))
-            place = (settings.me - request.first) % settings.gateways
-            part = (place < holders) / max(holders, 1)
-            rate = HEAD_PART * max(plan.ceiling_rate - plan.rate, 0.0)
-            self.head = Meter(rate * part, depth * part, started)
+            self.head = Meter(*self.headroom(settings), started)
             self.head.tat = started + self.head.tolerance
-        length = plan.burst / plan.rate * SECOND_MS if plan.rate > 0 else PERIOD_MOST_MS
-        self.period_ms = min(max(length, PERIOD_LEAST_MS), PERIOD_MOST_MS)
+        self.period_ms = self.length()
         self.phase = name_of(self.customer, -1) / MASK  # customers' periods end at different times
         self.period = -1
         self.base = self.last_base = 0.0  # total last seen under this period's name, and the one's before
@@ -176,6 +174,19 @@
         self.open = 0
         self.flushing = False  # a Wake is set to report what is owed
 
+    def headroom(self, settings: Settings) -> tuple[float, float]:
+        """Rate and depth of this gateway's part of the ceiling's headroom."""
+        plan = self.plan
+        depth = HEAD_PART * max(plan.ceiling_burst + plan.ceiling_slack - plan.burst, 0.0)
+        holders = min(self.spread, int(depth / max(settings.max_units, 1.0)))
+        part = ((settings.me - self.first) % settings.gateways < holders) / max(holders, 1)
+        return HEAD_PART * max(plan.ceiling_rate - plan.rate, 0.0) * part, depth * part
+
+    def length(self) -> float:
+        """Of a period."""
+        length = self.plan.burst / self.plan.rate * SECOND_MS if self.plan.rate > 0 else PERIOD_MOST_MS
+        return min(max(length, PERIOD_LEAST_MS), PERIOD_MOST_MS)
+
     def part(self) -> float:
         """The own part of the quota while nothing is heard: each gateway is taken to go on as last seen, and
         what was unused is split evenly."""
@@ -221,6 +232,10 @@
             found.conform = self._conform[plan.name]
             self._ledgers[request.customer] = found
         found.used = now
+        plan = self._plans.get(found.plan.name, found.plan)
+        if plan is not found.plan and not found.asked:
+            from martenstep.plans.replan import replan  # not loaded where plans do not change
+            replan(now, found, plan, self._settings)
         if self.sight and found.version != self.sight.version:
             self.sight.apply(now, found)
         return found
@@ -270,7 +285,8 @@
 
     def judged(self, led: Ledger, good: bool) -> None:
         """Learn from a try that the counter told of whether such tries conform."""
-        self._conform[led.plan.name] += PRIOR_GAIN * (good - self._conform[led.plan.name])
+        old = self._conform.get(led.plan.name, PRIOR)  # a plan that is gone from the settings is not kept
+        self._conform[led.plan.name] = old + PRIOR_GAIN * (good - old)
         led.conform += CONFORM_GAIN * (good - led.conform)
 
     def ask(self, now: float, led: Ledger, guessed: float = 0.0) -> list[Action]:
@@ -639,6 +655,7 @@
 
     def __init__(self, request: Request, cls: RequestClass, ledger: Ledger, now: float) -> None:
         self.request, self.cls, self.ledger = request, cls, ledger
+        self.most = 0  # attempts, by the settings under which it came
         self.arrived, self.deadline = now, now + request.remaining_ms
         self.attempts: list[int] = []  # the server of each
         self.server: Server | None = None  # where an attempt is out
@@ -679,6 +696,14 @@
                     return [Subscribe()]
         return []
 
+    def retune(self, settings: Settings) -> None:
+        """Go by new settings; what is open keeps the class and the attempts it began with."""
+        self._settings = self._quota._settings = self._fleet._settings = settings
+        self._classes = {cls.name: cls for cls in settings.classes}
+        self._quota._plans = {plan.name: plan for plan in settings.plans}
+        self._quota._conform = {name: self._quota._conform.get(name, PRIOR) for name in self._quota._plans}
+        self._fleet._aim = min((c.aim_ms for c in settings.classes), default=SECOND_MS)
+
     def avoided(self, now: float) -> int:
         """How many of the listed servers are sent nothing, or only what looks whether they are back."""
         return self._fleet.avoided(now)
@@ -706,6 +731,7 @@
             raise ValueError(f"class {event.cls!r} is not among the settings")
         led = self._quota.ledger(now, event)
         job = self._jobs[event.id] = Job(event, cls, led, now)
+        job.most = self._settings.max_attempts
         if led.plan.rate <= 0:
             return self._send(now, job)
         wait = led.quota.wait(now, event.units) if led.told or led.version else 0.0
@@ -797,7 +823,7 @@
         left = job.deadline - now
         aim_left = min(job.arrived + job.cls.aim_ms, job.deadline) - now
         allowed = self._allowed(now, job)
-        spent = len(job.attempts) >= self._settings.max_attempts
+        spent = len(job.attempts) >= job.most
         if allowed is False or spent or left <= self._settings.tick_ms:
             return self._give_up(now, job)
         choice = None if self._fleet.crowded() else self._fleet.pick(now, allowed, job.attempts)
@@ -855,7 +881,7 @@
         if job is None or not job.server or len(job.attempts) != attempt + 1:
             return []
         server = job.attempts[-1]
-        more = self._retries >= 1 and len(job.attempts) < self._settings.max_attempts
+        more = self._retries >= 1 and len(job.attempts) < job.most
         # Only where another attempt can follow: else the work done is wasted for nothing.  Looked at once:
         # what is given up later only adds to the load.
         silent = self._fleet.silent(now, server, (rid, attempt), patience)
--- a/martenstep/settings.py
+++ b/martenstep/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any
 
 from martenstep import interface as api
@@ -18,6 +19,25 @@
     return value
 
 
+def _figure(value: Any, path: str) -> float:
+    """A finite number, and neither a truth value nor a text."""
+    if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
+        raise ValueError(f"setting {path}: expected a number, got {value!r}")
+    return float(value)
+
+
+def _above_0(value: Any, path: str) -> float:
+    if not (figure := _figure(value, path)) > 0:
+        raise ValueError(f"setting {path}: expected a number above 0, got {value!r}")
+    return figure
+
+
+def _whole(value: Any, path: str) -> int:
+    if (figure := _figure(value, path)) != int(figure):
+        raise ValueError(f"setting {path}: expected a whole number, got {value!r}")
+    return int(figure)
+
+
 def _effect(entry: dict[str, Any]) -> api.Effect:
     word = _need(entry, "idempotency")
     if word not in EFFECTS:
@@ -30,51 +50,52 @@
     family, limits, rules = raw.get("family_info", {}), _need(raw, "policy_limits"), _need(raw, "rules")
     try:
         return api.Settings(
-            me=int(_need(raw, "me")),
-            gateways=int(_need(raw, "instances")),
+            me=_whole(_need(raw, "me"), "me"),
+            gateways=_whole(_need(raw, "instances"), "instances"),
             zone=raw.get("zone", ""),
-            tick_ms=float(_need(raw, "tick_ms")),
+            tick_ms=_figure(_need(raw, "tick_ms"), "tick_ms"),
             classes=tuple(
                 api.RequestClass(
                     name=_need(entry, "name"),
-                    aim_ms=float(_need(entry, "slo_ms")),
-                    deadline_ms=float(_need(entry, "deadline_ms")),
+                    aim_ms=_figure(_need(entry, "slo_ms"), "classes[].slo_ms"),
+                    deadline_ms=_above_0(_need(entry, "deadline_ms"), "classes[].deadline_ms"),
                     effect=_effect(entry),
                     group=api.Group(entry.get("group", "all")),
-                    window_ms=float(entry.get("window_ms", 0.0)),
-                    worth=float(entry.get("worth", 1.0)),
-                    late_share=float(entry.get("late_share", 0.0)),
+                    window_ms=_figure(entry.get("window_ms", 0.0), "window_ms"),
+                    worth=_figure(entry.get("worth", 1.0), "worth"),
+                    late_share=_figure(entry.get("late_share", 0.0), "late_share"),
                 )
                 for entry in _need(raw, "classes")
             ),
             plans=tuple(
                 api.Plan(
                     name=_need(entry, "name"),
-                    rate=float(entry.get("units_per_s", 0.0)),
-                    burst=float(entry.get("most_at_once", 0.0)),
-                    open_limit=int(entry.get("open", 0)),
-                    price=float(entry.get("worth_factor", 1.0)),
-                    over_worth=float(entry.get("over_worth", 0.0)),
-                    over_cost=float(entry.get("beyond_costs", 0.0)),
-                    ceiling_rate=float(entry.get("hard_rate", 0.0)),
-                    ceiling_burst=float(entry.get("cap_depth", 0.0)),
-                    ceiling_slack=float(entry.get("tolerance", 0.0)),
+                    rate=_figure(entry.get("units_per_s", 0.0), "units_per_s"),
+                    burst=_figure(entry.get("most_at_once", 0.0), "most_at_once"),
+                    open_limit=_whole(entry.get("open", 0), "open"),
+                    price=_figure(entry.get("worth_factor", 1.0), "worth_factor"),
+                    over_worth=_figure(entry.get("over_worth", 0.0), "over_worth"),
+                    over_cost=_figure(entry.get("beyond_costs", 0.0), "beyond_costs"),
+                    ceiling_rate=_figure(entry.get("hard_rate", 0.0), "hard_rate"),
+                    ceiling_burst=_figure(entry.get("cap_depth", 0.0), "cap_depth"),
+                    ceiling_slack=_figure(entry.get("tolerance", 0.0), "tolerance"),
                 )
                 for entry in raw.get("contracts", [])
             ),
             has_counter=bool(family.get("has_counter", False)),
-            counter_timeout_ms=float(family.get("counter_timeout_ms", 0.0)),
-            max_units=float(family.get("max_units", 1.0)),
-            max_attempts=int(limits.get("try_limit", 1)),
+            counter_timeout_ms=_figure(family.get("counter_timeout_ms", 0.0), "counter_timeout_ms"),
+            max_units=_figure(family.get("max_units", 1.0), "max_units"),
+            max_attempts=_whole(_above_0(limits.get("try_limit", 1), "policy_limits.try_limit"),
+                                "policy_limits.try_limit"),
             can_cancel=bool(limits.get("cancelling", False)),
-            max_retry_after_ms=float(limits.get("max_retry_after_ms", 0.0)),
+            max_retry_after_ms=_figure(limits.get("max_retry_after_ms", 0.0), "max_retry_after_ms"),
             must_subscribe=raw.get("discovery", "automatic") == "subscribe",
-            ask_within_ms=float(rules.get("ask_every_ms", 0.0)),
-            answer_slack_ms=float(rules.get("answer_slack_ms", 0.0)),
-            cold_from=float(rules.get("cold_from", 1.0)),
-            warm_within_ms=float(rules.get("warm_within_ms", 0.0)),
-            fall_multiple=float(rules.get("fall_multiple", 1.0)),
-            fall_window_ms=float(rules.get("overload_for_ms", 0.0)),
+            ask_within_ms=_figure(rules.get("ask_every_ms", 0.0), "ask_every_ms"),
+            answer_slack_ms=_figure(rules.get("answer_slack_ms", 0.0), "answer_slack_ms"),
+            cold_from=_figure(rules.get("cold_from", 1.0), "cold_from"),
+            warm_within_ms=_figure(rules.get("warm_within_ms", 0.0), "warm_within_ms"),
+            fall_multiple=_figure(rules.get("fall_multiple", 1.0), "fall_multiple"),
+            fall_window_ms=_figure(rules.get("overload_for_ms", 0.0), "overload_for_ms"),
         )
     except TypeError as error:
         raise ValueError(f"settings: a value has the wrong form ({error})") from None
--- a/martenstep/watch/guarded.py
+++ b/martenstep/watch/guarded.py
@@ -62,6 +62,11 @@
         sight = self.watch.sight
         return self._guard.since(customer, sight.changed - sight.unseen_ms)
 
+    def retune(self, settings: Settings) -> None:
+        """Go by new settings."""
+        self.module.retune(settings)
+        self._plans = {plan.name: plan for plan in settings.plans}
+
     def avoided(self, now: float) -> int:
         """How many of the listed servers get nothing now."""
         return self.module.avoided(now)
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -329,7 +329,7 @@
                   counter=(HOST, counter) if counter else None, seed=7, sockets=1024,
                   memory_mb=192.0, known=known,
                   settings=settings(me, has_counter=counter is not None, **changes),
-                  safe=frozenset({"balance-check"}), report_names=("latency_ms", "inflight"),
+                  report_names=("latency_ms", "inflight"),
                   connect_ms=5000.0, idle_ms=30_000.0, drain_s=0.0, diameter=second if diameter else None)
 
 
--- a/tests/test_diameter.py
+++ b/tests/test_diameter.py
@@ -453,7 +453,7 @@
 
     loop = Turns(FakeLoop())
     me = PeerIdentity("gw0.yoke.example", "yoke.example", "127.0.0.1", 1)
-    owner = DiameterServerLink(("127.0.0.1", 1), loop, lambda: 0.0, me=me, safe=frozenset(), services={},
+    owner = DiameterServerLink(("127.0.0.1", 1), loop, lambda: 0.0, me=me, services={},
                                connect_ms=100.0, idle_ms=100.0, watchdog_s=30.0)
     connection = server_link._Connection(cast(IOStream, Stuck()), owner, loop, 30.0)
     connection.state = State.OPEN
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -187,7 +187,7 @@
 def test_configuration_is_read_with_its_defaults(tmp_path: Path) -> None:
     made = read_config({**written(tmp_path, GOOD), "LB_LISTEN": "127.0.0.2:1"}, tmp_path)
     assert made.listen == ("127.0.0.2", 1) and made.seed == 0x8C1F and made.sockets == 512
-    assert made.connect_ms == 250 and made.safe == {"read"} and made.diameter is None
+    assert made.connect_ms == 250 and made.diameter is None
     assert made.known is not None and made.known.hosts[0].id == "a"
 
 
@@ -195,7 +195,7 @@
     ({"listen": "x"}, "LB_LISTEN"), ({"discovery": None}, "LB_DISCOVERY"), ({"counter": None}, "counter"),
     ({"counter": "a:b"}, "counter"), ({"seed": "xyz"}, "seed"), ({"limits": 3}, "limits"),
     ({"limits": {"sockets": "many"}}, "limits.sockets"), ({"known": {"servers": 1}}, "known.servers"),
-    ({"settings": None}, "settings"), ({"settings": {**PARAMS, "me": None}}, "settings"),
+    ({"settings": None}, "settings"), ({"settings": {**PARAMS, "me": None}}, "setting me: expected a number"),
     ({"settings": {k: v for k, v in PARAMS.items() if k != "rules"}}, "rules"),
     ({"settings": {**PARAMS, "policy_limits": {"conn_idle_ms": 0}}}, "settings.policy_limits.conn_idle_ms"),
 ])
--- /dev/null
+++ b/tests/test_reload.py
@@ -0,0 +1,197 @@
+"""New settings at SIGHUP: turned down whole or taken in one step; open queries keep what they began with."""
+
+from __future__ import annotations
+
+import copy
+import json
+from collections.abc import Callable
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from badgeryoke.config import Config, ConfigError, lacking, read_config, shape
+from badgeryoke.gateway import App
+from martenstep import interface as api
+from martenstep.plans.replan import replan
+from tests import helpers
+from tests.standins import (
+    HOST,
+    KEYED,
+    NOW_MS,
+    SAFE,
+    Backend,
+    Discovery,
+    config,
+    connect,
+    entry,
+    query,
+    roster,
+)
+from tests.standins import settings as made_settings
+from tests.test_front import ask, play
+from tests.test_service import until
+from tests.test_wire import PARAMS
+
+RAW: dict[str, Any] = {
+    "name": "n", "listen": f"{HOST}:6379", "discovery": f"{HOST}:1", "counter": f"{HOST}:1",
+    "limits": {"cores": 1.0},
+    "settings": {**PARAMS, "policy_limits": {"try_limit": 3}, "rules": {"fall_multiple": 3.0}}}
+
+
+def at(raw: dict[str, Any], path: str, value: object = None) -> dict[str, Any]:
+    """The file with one value changed, or its key taken out."""
+    made = copy.deepcopy(raw)
+    *way, last = path.split(".")
+    there: Any = made
+    for part in way:
+        there = there[int(part)] if part.isdigit() else there[part]
+    if value is None:
+        del there[last]
+    else:
+        there[last] = value
+    return made
+
+
+@pytest.mark.parametrize("path", ["settings.classes.0.deadline_ms", "settings.policy_limits.try_limit"])
+@pytest.mark.parametrize("value", [0, -5.0, True, "480", [1], "NaN", 1e400])
+def test_a_deadline_or_number_of_attempts_is_a_number_above_0(path: str, value: object,
+                                                               tmp_path: Path) -> None:
+    file = tmp_path / "config.json"
+    file.write_text(json.dumps(at(RAW, path, value)).replace('"NaN"', "NaN"))
+    with pytest.raises(ConfigError, match=path.rsplit(".", 1)[1] + "|not JSON"):
+        read_config({"LB_CONFIG": str(file)}, tmp_path, again=True)
+
+
+@pytest.mark.parametrize("text", ["", "{", json.dumps(RAW)[:-40], "[]", "null"])
+def test_an_empty_or_cut_file_is_turned_down(text: str, tmp_path: Path) -> None:
+    file = tmp_path / "config.json"
+    file.write_text(text)
+    with pytest.raises(ConfigError, match="LB_CONFIG"):
+        read_config({"LB_CONFIG": str(file)}, tmp_path, again=True)
+
+
+@pytest.mark.parametrize("path", [
+    "counter", "discovery", "limits.cores", "settings.rules", "settings.rules.fall_multiple",
+    "settings.policy_limits.try_limit", "settings.classes.0.idempotency", "settings.contracts"])
+def test_a_file_that_lacks_a_key_is_turned_down_by_its_name(path: str) -> None:
+    missing = lacking(shape(RAW), shape(at(RAW, path)))
+    assert missing == ".".join(part for part in path.split(".") if not part.isdigit())
+    assert lacking(shape(RAW), shape({**RAW, "more": 1})) is None
+    assert lacking(shape({**RAW, "known": {"version": 1}}), shape(RAW)) is None
+
+
+async def reloading(new: Callable[[Config], Config], test: Any, *nodes: Backend) -> None:
+    async with nodes[0] as node, Discovery(entry("a", node.port)) as list_:
+        made = config(list_.port, None, roster(entry("a", node.port)))
+        app = App(made, lambda: NOW_MS, lambda: new(made))
+        app.start()
+        try:
+            await test(app, node)
+        finally:
+            app.end()
+            await app.done.wait()
+
+
+def test_classes_come_go_and_change_effect_while_open_queries_keep_theirs() -> None:
+    """`load-send` becomes safe to repeat, `balance-check` goes, `fresh` comes, one attempt is left."""
+    classes = (replace(KEYED, effect=api.Effect.SAFE, deadline_ms=70_000.0),
+               api.RequestClass("fresh", 30_000.0, 60_000.0, api.Effect.SAFE))
+
+    def new(made: Config) -> Config:
+        return replace(made, settings=made_settings(classes=classes, has_counter=False, max_attempts=1))
+
+    async def test(app: App, node: Backend) -> None:
+        reader, writer = await connect(app.address)
+        writer.write(query("open", "load-send", key="k"))
+        await until(lambda: len(node.commands) == 1)
+        app.reload()
+        assert "syntax" in str(await ask(app, query("gone")))
+        assert "syntax" in str(await ask(app, query("wrong", "load-send", key="k2")))  # now an SVC.QUERY
+        assert await ask(app, query("new", "fresh")) == [b"value"]
+        assert await ask(app, query("changed", "load-send", d=65_000)) == [b"value"]
+        node.writers[0].write(b"-ERR failed\r\n")  # it carries a key, and may be sent again: by the old rules
+        assert await reader.readexactly(11) == b"$5\r\nvalue\r\n"
+        by_id = [(command[0], command[2]) for command in node.commands]
+        assert by_id.count((b"SVC.SUBMIT", b"open")) == 2 and (b"SVC.QUERY", b"changed") in by_id
+        assert app.core.figures.ended["balance-check"] == [0, 0, 0] and app.core.figures.reloads == 1
+        writer.close()
+
+    play(lambda: reloading(new, test, Backend(script=[None])))
+
+
+def test_attempts_become_fewer_for_new_queries_alone() -> None:
+    def new(made: Config) -> Config:
+        return replace(made, settings=made_settings(has_counter=False, max_attempts=1))
+
+    async def test(app: App, node: Backend) -> None:
+        app.reload()
+        assert "BUSY" in str(await ask(app, query("one")))
+        assert len(node.commands) == 1
+
+    play(lambda: reloading(new, test, Backend(script=[b"-BUSY\r\n"])))
+
+
+def test_a_file_turned_down_changes_nothing_and_two_in_a_row_are_taken() -> None:
+    files: list[Config | ConfigError] = []
+
+    def new(made: Config) -> Config:
+        file = files.pop(0)
+        if isinstance(file, ConfigError):
+            raise file
+        return file
+
+    async def test(app: App, node: Backend) -> None:
+        one = replace(app._config, settings=made_settings(classes=(SAFE,), has_counter=False))
+        two = replace(app._config, settings=made_settings(classes=(SAFE, KEYED), has_counter=False))
+        files[:] = [ConfigError("settings: missing"), replace(two, shape={"a": None}), one, two]
+        app._config = replace(app._config, shape={"a": None, "b": None})
+        app.reload()
+        app.reload()  # lacks b
+        assert await ask(app, query("kept", "load-send", key="k")) == [b"value"]
+        app._config = replace(app._config, shape=None)
+        app.reload()
+        app.reload()
+        assert await ask(app, query("back", "load-send", key="k2")) == [b"value"]
+        assert (app.core.figures.reloads, app.core.figures.reload_errors) == (2, 2)
+        app.pause()
+        files[:] = [one]
+        app.reload()  # during a drain
+        app.resume()
+        assert "syntax" in str(await ask(app, query("gone", "load-send", key="k3")))
+
+    play(lambda: reloading(new, test, Backend()))
+
+
+@pytest.mark.parametrize(("rate", "burst", "room"), [
+    (1.0, 4.0, 1.0),  # as it was
+    (1.0, 40.0, 1.0),  # a rise gives no free burst
+    (1.0, 2.0, -1.0),  # a cut leaves debt, ...
+    (0.1, 1.0, -0.5),  # ... which is paid within five seconds
+])
+def test_a_plan_changes_without_a_free_burst_and_without_forgetting(rate: float, burst: float,
+                                                                   room: float) -> None:
+    made = helpers.gateway(has_counter=False)
+    now = helpers.START
+    asked = helpers.request("a", units=3.0, spread=1)
+    led = made._quota.ledger(now, asked)
+    led.quota.take(3.0, now)
+    plan = replace(helpers.PLAIN, rate=rate, burst=burst)
+    made.retune(replace(helpers.SETTINGS, plans=(plan, helpers.CAPPED)))
+    assert made._quota.ledger(now, asked) is led and led.plan is plan
+    assert led.quota.room(now) == pytest.approx(room)
+
+
+def test_a_call_that_is_out_is_answered_before_the_new_plan_is_taken_up() -> None:
+    made = helpers.gateway()
+    now = helpers.START
+    [count] = helpers.only(made.handle(now, helpers.request("a")), api.Count)
+    plan = replace(helpers.PLAIN, rate=2.0, burst=30.0)
+    made.retune(replace(helpers.SETTINGS, plans=(plan, helpers.CAPPED)))
+    led = made._quota.ledger(now, helpers.request("b"))
+    assert led.plan is helpers.PLAIN  # its answer belongs to the old period
+    made.handle(now, api.Total(count.name, api.Verdict.OK, 1.0, 1.0))
+    assert made._quota.ledger(now, helpers.request("b")).plan is plan
+    replan(now, led, replace(plan, ceiling_rate=9.0, ceiling_burst=60.0), helpers.SETTINGS)
+    assert led.head is not None and led.head.room(now) == 0.0  # a new ceiling's headroom starts empty
