Relay values of up to 4 MiB in pieces; tell a crowd at the counter by its quickest answer

Cause: an answer longer than 64 KiB counted as a broken protocol, on every backend.

A line at the counter is told by what an answer takes over the quickest one.

--- a/badgeryoke/core.py
+++ b/badgeryoke/core.py
@@ -15,6 +15,7 @@
 from badgeryoke.actor import Actor, Turns
 from badgeryoke.execution import End, Execution, Query, ServerLink
 from badgeryoke.figures import COMPLETED, FAILED, REJECTED, Figures
+from badgeryoke.relay import Relay
 from martenstep import interface as api
 from martenstep.decide import Gateway
 
@@ -58,7 +59,14 @@
     detail: str
 
 
-Answer = Served | Refused | Failed
+@dataclass(frozen=True, slots=True)
+class Passing:
+    """A long value has begun: the rest comes through the relay, or breaks off there."""
+
+    relay: Relay
+
+
+Answer = Served | Refused | Failed | Passing
 
 
 class Counter(Protocol):
@@ -84,8 +92,19 @@
 class _Running:
     """A query that is owed its answer, or whose last execution is still out."""
 
-    __slots__ = ("answer", "attempts", "deadline_ms", "execution", "harmless", "id", "may_have_run", "query",
-                 "timer")
+    __slots__ = (
+        "answer",
+        "attempts",
+        "deadline_ms",
+        "execution",
+        "first_ms",
+        "harmless",
+        "id",
+        "may_have_run",
+        "query",
+        "relay",
+        "timer",
+    )
 
     def __init__(self, rid: str, query: Query, answer: Callable[[Answer], None], deadline_ms: float,
                  harmless: bool) -> None:
@@ -96,6 +115,8 @@
         self.attempts = 0
         self.execution: Execution | None = None
         self.timer: asyncio.TimerHandle | None = None
+        self.relay: Relay | None = None  # the final answer has begun, and is not at its end
+        self.first_ms = 0.0  # how long its first bytes took
 
 
 class Core(Actor):
@@ -227,18 +248,20 @@
         if run.answer is not None:
             run.answer = None
             self._ids.discard(run.query.id)
+            if run.relay is not None:
+                run.relay.leave()
             self._release(run)
             self._decide(api.Left(run.id))
 
     def _overdue(self, run: _Running) -> None:
-        if run.answer is None:
+        if run.answer is None or run.relay is not None:
             return
         if run.execution is not None:
             run.execution.abandon(api.Verdict.TIMEOUT, final=True)
         self.post(self._last_word, run)  # behind the outcome, to which the module answers
 
     def _last_word(self, run: _Running) -> None:
-        if run.answer is None:
+        if run.answer is None or run.relay is not None:
             return
         log.warning("query overdue: no decision by the deadline, answered by the core")
         self._give_up(run)
@@ -293,7 +316,7 @@
             case api.Wake(at_ms=at, token=token):
                 self._wakes[token] = self._loop.call_later(
                     max(at - now, 0.0) / 1000.0, self.deliver, self._due, token)
-            case api.Cancel(id=rid, attempt=attempt):
+            case api.Cancel(id=rid, attempt=attempt):  # ignored by one whose long value has begun
                 run = self._running.get(rid)
                 if run is not None and run.execution is not None and run.execution.attempt == attempt:
                     run.execution.abandon(api.Verdict.CANCELLED)
@@ -335,6 +358,7 @@
             execution.lost("server not in the list")
         else:
             run.execution = execution
+            execution.on_begun = lambda relay: self.post(self._begun, run, execution, relay)
             if deadline < run.deadline_ms - 1.0:
                 self._loop.call_later((deadline - now) / 1000.0, execution.abandon, api.Verdict.TIMEOUT)
             link.start(execution)
@@ -345,15 +369,41 @@
             run.execution = None
         if not end.verdict.never_ran:
             run.may_have_run = True
-        rtt = self._clock() - execution.started_ms
-        if end.verdict is api.Verdict.OK and run.answer is not None:
+        rtt = run.first_ms if run.relay is not None else self._clock() - execution.started_ms
+        if run.relay is not None:
+            if end.verdict is not api.Verdict.OK and run.answer is not None:
+                run.relay.fail()
+                self._passed(run, Failed("broke off"))
+        elif end.verdict is api.Verdict.OK and run.answer is not None:
             self._finish(run, Served(end.value, end.true_units))
-        over = run.answer is None
-        if over and run.execution is None:
+        over = run.answer is None or run.relay is not None
+        if run.answer is None and run.execution is None:
             self._forget(run)
         self._decide(api.Outcome(run.id, execution.attempt, execution.server, end.verdict, rtt, over,
                                  end.true_units, end.report), run)
 
+    def _begun(self, run: _Running, execution: Execution, relay: Relay) -> None:
+        """A long value has begun: this is the final answer, whatever becomes of it."""
+        if run.answer is None or run.execution is not execution:
+            relay.leave()
+            execution.abandon(api.Verdict.CANCELLED, final=True)
+            return
+        run.relay, run.first_ms, run.may_have_run = relay, self._clock() - execution.started_ms, True
+        if run.timer is not None:
+            run.timer.cancel()
+        relay.on_drained = lambda: self.post(self._passed, run, Served(b""))
+        self._decide(api.Started(run.id))
+        run.answer(Passing(relay))
+
+    def _passed(self, run: _Running, answer: Answer) -> None:
+        """The client has all of a long value, or what it will ever have of it."""
+        if run.answer is not None:
+            run.answer = None
+            self._ids.discard(run.query.id)
+            self._count(run, answer)
+            if run.execution is None:
+                self._forget(run)
+
     def _finish(self, run: _Running, answer: Answer) -> None:
         """The one place where a final answer is given."""
         if run.answer is None:
--- a/badgeryoke/execution.py
+++ b/badgeryoke/execution.py
@@ -7,6 +7,7 @@
 from enum import Enum
 from typing import Protocol
 
+from badgeryoke.relay import Relay
 from martenstep.interface import Verdict
 
 
@@ -48,6 +49,7 @@
     safe: bool | None = None  # whether it is safe to repeat; None: its wire does not say, the core does
     # A repeat of something another gateway may have run: no attempt may be written after this time.
     send_by_ms: float | None = None
+    streams: bool = False  # whoever asked can take a long value in pieces
 
 
 def customer_number(digits: bytes) -> int:
@@ -70,8 +72,8 @@
 class Execution:
     """One attempt.  Its first end counts, and every later one is ignored."""
 
-    __slots__ = ("_on_end", "_on_written", "attempt", "begun", "deadline_ms", "final", "on_abandon", "query",
-                 "repeat", "server", "stage", "started_ms")
+    __slots__ = ("_on_end", "_on_written", "attempt", "begun", "deadline_ms", "final", "on_abandon",
+                 "on_begun", "query", "relay", "repeat", "server", "stage", "started_ms")
 
     def __init__(self, query: Query, attempt: int, server: int, started_ms: float, deadline_ms: float,
                  on_end: Callable[[Execution, End], None], repeat: bool = False,
@@ -83,6 +85,8 @@
         self.final = False  # no attempt will follow this one
         self.stage = Stage.NOT_WRITTEN
         self.on_abandon: Callable[[], None] | None = None  # set by the server link: ends the attempt there
+        self.relay: Relay | None = None  # a long value has begun, and goes on through this
+        self.on_begun: Callable[[Relay], None] | None = None
         self._on_end, self._on_written = on_end, on_written
 
     @property
@@ -101,6 +105,15 @@
             if self._on_written is not None:
                 self._on_written()
 
+    def begins(self, relay: Relay) -> None:
+        """The first bytes of a long value: from here on it is the client's, and is given up for nothing but
+        the client's leaving."""
+        if self.stage is Stage.ENDED or self.on_begun is None:
+            relay.leave()
+            return
+        self.relay = relay
+        self.on_begun(relay)
+
     def served(self, value: bytes, true_units: float = 0.0, report: tuple[float, ...] = ()) -> None:
         self._end(Verdict.OK, value=value, true_units=true_units, report=report)
 
@@ -123,6 +136,8 @@
     def abandon(self, verdict: Verdict, final: bool = False) -> None:
         """Stop waiting: cancelled or timed out.  What was never begun to be written could not connect; what
         was begun may go out whole before the link hears of this, and so may run."""
+        if self.relay is not None and not final:
+            return
         self.final = final
         self._end(verdict if self.begun else Verdict.CONNECT_FAILED, detail="given up")
 
--- a/badgeryoke/gateway.py
+++ b/badgeryoke/gateway.py
@@ -23,6 +23,7 @@
 from badgeryoke.diameter.server_link import DiameterServerLink
 from badgeryoke.drain import Drain, Effect, Event
 from badgeryoke.host_group import Host, HostGroup
+from badgeryoke.relay import Room
 from badgeryoke.resp.front import RespFront
 from badgeryoke.resp.server_link import RespServerLink
 from martenstep.interface import Members, State, Total, Verdict
@@ -40,6 +41,7 @@
 LAG_LOOK_S = 0.01
 # Of the memory that is left beside the program itself: for bodies of open queries, and for half commands.
 PROGRAM_MB, BODIES_PART, HALVES_PART = 24.0, 0.25, 0.15
+LONG_PART = 0.2  # and for long values on their way; as much again lies in the streams' own buffers
 LEAST_MB = 4.0
 # SIGKILL comes no sooner after SIGTERM than the longest deadline, counted as 3 s where it is longer, and
 # 0.7 s more; what was taken in the grace has its whole deadline still.
@@ -74,6 +76,7 @@
         self.core = Core(config.settings, config.seed, loop, self._clock, self._link,
                          self._counter or NoCounter(loop), int(room * BODIES_PART),
                          config.operators.counter_watch.enabled)
+        self._room = Room(int(room * LONG_PART))
         self._hosts = HostGroup(config.discovery, config.known, loop, self._changed)
         self._front = RespFront(self.core, loop, int(config.sockets * CLIENT_PART), self._hosts,
                                 int(room * HALVES_PART), int(config.sockets * CROWD_PART))
@@ -201,7 +204,7 @@
         return RespServerLink(
             host.address, self._loop, self._clock, report_names=config.report_names,
             connect_ms=config.connect_ms, idle_ms=config.idle_ms, most=most,
-            most_units=config.settings.max_units)
+            most_units=config.settings.max_units, room=self._room)
 
     def _sweep(self) -> None:
         for _, link in self._links.values():
--- a/badgeryoke/resp/client_link.py
+++ b/badgeryoke/resp/client_link.py
@@ -15,8 +15,9 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from badgeryoke.actor import READ_CHUNK, Actor, Turns
-from badgeryoke.core import Answer, Core, Refused, Served
+from badgeryoke.core import Answer, Core, Passing, Refused, Served
 from badgeryoke.execution import Query, customer_number
+from badgeryoke.relay import Relay
 from badgeryoke.resp.parser import MAX_BULK, Parser, Value, bulk, error, number, pairs, whole_number
 
 log = logging.getLogger("badgeryoke.resp.client")
@@ -32,6 +33,7 @@
 # behind an answer, and what lies behind that was not taken.  A new one has so long to ask its first.
 END_TAKES_S, END_FIRST_S = 1.0, 0.5
 MOST_WAITING = 64  # commands of one connection that wait for their answers; more are not read meanwhile
+PIECE = 32 * 1024  # of a long value is written at once; the next when this one has gone out
 PONG, OK = b"+PONG\r\n", b"+OK\r\n"
 
 
@@ -52,7 +54,7 @@
             units=_field("units", number, given["units"], MOST_UNITS),
             spread=_field("spread", whole_number, given["spread"], MOST_GATEWAYS),
             first=_field("first", whole_number, given["first"], MOST_GATEWAYS),
-            retry=retry == "1", key=key, safe=safe,
+            retry=retry == "1", key=key, safe=safe, streams=True,
         )
     except KeyError as missing:
         raise ValueError(f"no {missing.args[0]} in the list") from None
@@ -71,8 +73,10 @@
 
 
 def encode(answer: Answer) -> bytes:
-    """A final answer on this wire."""
+    """A final answer on this wire; of a long value the head."""
     match answer:
+        case Passing(relay=relay):
+            return b"$%d\r\n" % relay.length
         case Served(value=value):
             return bulk(value)
         case Refused(retry_after_ms=wait):
@@ -91,11 +95,12 @@
 class _Slot:
     """The place of one command in the order of answers."""
 
-    __slots__ = ("left", "reply")
+    __slots__ = ("left", "relay", "reply")
 
     def __init__(self, reply: bytes | None = None) -> None:
         self.reply = reply
         self.left: Callable[[], None] | None = None  # tells the core that the client has gone
+        self.relay: Relay | None = None  # a long value that comes in pieces
 
 
 class ClientLink(Actor):
@@ -131,6 +136,11 @@
         """Bytes held of a command that is not whole."""
         return self._parser.held
 
+    @property
+    def passing(self) -> bool:
+        """Whether a long value is on its way out."""
+        return bool(self._slots) and self._slots[0].relay is not None
+
     def abort(self) -> None:
         """Close a connection whose client does not fetch its answers."""
         self._stream.close()
@@ -202,12 +212,22 @@
             self._broken = self._ending = True
 
     def _answered(self, slot: _Slot, answer: Answer) -> None:
-        slot.reply, slot.left = encode(answer), None
+        if isinstance(answer, Passing):
+            slot.reply, slot.relay = encode(answer), answer.relay
+            answer.relay.on_piece = lambda: self.post(self._moved)
+        else:
+            slot.reply, slot.left = encode(answer), None
+
+    def _moved(self) -> None:
+        """A relay has more, or there is room for more: the end of this turn looks."""
 
     def turn_ended(self) -> None:
         """Write the answers that are at the head of the order, in one piece."""
-        slots, out = self._slots, []
+        slots = self._slots
+        out: list[bytes | None] = []
         while slots and slots[0].reply is not None:
+            if (relay := slots[0].relay) is not None and not self._pass_on(slots[0], relay, out):
+                break
             out.append(slots.popleft().reply)
         if self._stream.closed():
             return
@@ -223,7 +243,7 @@
         self.idle_since = self._loop.time()
         if not self._stream.writing():
             self.unread_since = math.inf
-        elif self.unread_since == math.inf:
+        elif self.unread_since == math.inf or out:
             self.unread_since = self.idle_since
         if len(slots) < MOST_WAITING:
             self._room.set()
@@ -235,6 +255,29 @@
         """What had been written is out; retrieves the exception of a write that its end cut short."""
         if not done.cancelled() and done.exception() is None:
             self.unread_since = math.inf
+            if self._slots and self._slots[0].relay is not None:
+                self.deliver(self._moved)
+
+    def _pass_on(self, slot: _Slot, relay: Relay, out: list[bytes | None]) -> bool:
+        """Add the next piece of a long value to what is written, one piece at a time so that a slow client
+        holds back the server and not this gateway's memory; True once it is whole."""
+        if relay.broken:  # what lies behind it in the order cannot be told from the rest of it
+            self._broken = self._ending = True
+            self._loop.call_soon(self._stream.close)
+            return False
+        if self._stream.writing():
+            return False
+        if slot.reply:
+            out.append(slot.reply)
+            slot.reply = b""
+        if piece := relay.take(PIECE):
+            out.append(piece)
+        if relay.held or not relay.whole:
+            return False
+        out.append(b"\r\n")
+        slot.left = None
+        relay.drained()
+        return True
 
     def _finish(self) -> None:
         """Close, but only our side at first: closed whole with bytes unread, the connection would be reset,
--- a/badgeryoke/resp/front.py
+++ b/badgeryoke/resp/front.py
@@ -16,7 +16,7 @@
 
 # How long a client may take over a command, the first from its connection on, and how long it may keep a
 # connection with nothing open: one that asks once and stays, or says nothing, holds descriptor and memory.
-COMMAND_S, IDLE_S = 2.0, 20.0
+COMMAND_S, IDLE_S = 2.6, 20.0
 # Where the bound on connections is reached, the one that has been idle longest gives way, if for so long; one
 # that has not yet said a word counts as idle for longer, since whoever has something to ask does so at once.
 GIVE_WAY_S, SILENT_AHEAD_S = 0.1, 2.0
@@ -26,7 +26,8 @@
 CROWD_S = 0.3
 CLIENT_BUFFER = 128 * 1024  # bound of what is read of a client and not yet taken
 CLIENT_WRITES = 128 * 1024  # and of what it has not yet fetched, ...
-UNREAD_S = 2.5  # ... which it must fetch within this time
+UNREAD_S = 2.5  # ... which it must fetch within this time, ...
+STALLED_S = 10.0  # ... and each piece of a long value within this
 
 
 class RespFront(TCPServer):
@@ -96,7 +97,7 @@
             held += link.held
             if (now - link.idle_since >= IDLE_S and link.idle) or now - link.begun_at >= COMMAND_S:
                 link.drop()
-            elif now - link.unread_since >= UNREAD_S:
+            elif now - link.unread_since >= (STALLED_S if link.passing else UNREAD_S):
                 link.abort()
         if held > self._most_held:
             for link in sorted(self.links, key=lambda link: link.held, reverse=True):
--- a/badgeryoke/resp/parser.py
+++ b/badgeryoke/resp/parser.py
@@ -6,7 +6,8 @@
 from collections.abc import Iterable
 
 MAX_NUMBER = 20  # digits of a number, with its sign
-MAX_BULK = 64 * 1024  # the protocol's bound on a value
+MAX_BULK = 64 * 1024  # of a value that is held whole; ...
+MAX_LONG = 4 * 1024 * 1024  # ... a longer one, up to this, is given on in pieces where that is asked for
 
 
 class _ProtocolError(Exception):
@@ -21,6 +22,10 @@
     """An error line, such as -BUSY 20, without its sign."""
 
 
+class Passed(bytes):
+    """Stands, empty, where a long value stood that was given on in pieces."""
+
+
 Value = bytes | int | None | list["Value"]
 
 
@@ -33,7 +38,7 @@
     """
 
     def __init__(self, max_bulk: int = MAX_BULK, max_items: int = 16, max_depth: int = 2,
-                 max_line: int = 1024, max_total: int = 2 * MAX_BULK) -> None:
+                 max_line: int = 1024, max_total: int = 2 * MAX_BULK, max_long: int = 0) -> None:
         self._max_bulk, self._max_items = max_bulk, max_items
         self._max_depth, self._max_line, self._max_total = max_depth, max_line, max_total
         self._buffer = bytearray()
@@ -42,6 +47,12 @@
         self._total = 0  # bytes of bulk strings in the array that is being read
         self._scanned = 0  # bytes of the buffer known to hold no line end
         self.fault = ""
+        # A long value: the first of an outermost array, longer than max_bulk and up to max_long.
+        self._max_long = max_long
+        self._left: int | None = None  # bytes of it that are still to come
+        self.long = 0  # its length, once its head has come, until forget_long()
+        self.long_whole = False  # its own line end has come
+        self.pieces: list[bytes] = []  # what has come of it; for the owner to take
 
     @property
     def idle(self) -> bool:
@@ -53,6 +64,10 @@
         """Bytes held of what has been begun."""
         return len(self._buffer) + (self._total if self._open else 0)
 
+    def forget_long(self) -> None:
+        """What was said of a long value has been taken note of."""
+        self.long, self.long_whole = 0, False
+
     def feed(self, data: bytes) -> list[Value]:
         """The values that data completes."""
         whole: list[Value] = []
@@ -102,13 +117,24 @@
         buffer += data
         at = 0
         while True:
-            if self._bulk is not None:
+            value: Value
+            if self._left is not None:
+                if piece := bytes(buffer[at:at + self._left]):
+                    self.pieces.append(piece)
+                    self._left -= len(piece)
+                    at += len(piece)
+                if self._left or len(buffer) - at < 2:
+                    break
+                if buffer[at:at + 2] != b"\r\n":
+                    raise _ProtocolError("bulk string without its line end")
+                value, self._left, self.long_whole, at = Passed(), None, True, at + 2
+            elif self._bulk is not None:
                 end = at + self._bulk
                 if len(buffer) < end + 2:
                     break
                 if buffer[end:end + 2] != b"\r\n":
                     raise _ProtocolError("bulk string without its line end")
-                value: Value = bytes(buffer[at:end])
+                value = bytes(buffer[at:end])
                 self._bulk, at = None, end + 2
             else:
                 end = buffer.find(b"\r\n", max(at, self._scanned))
@@ -121,7 +147,12 @@
                 kind, line, at = buffer[at:at + 1], bytes(buffer[at + 1:end]), end + 2
                 self._scanned = at
                 if kind == b"$":
-                    length = self._length(line, self._max_bulk)
+                    first = len(self._open) == 1 and not self._open[0][1]
+                    most = self._max_long if first and self._max_long else self._max_bulk
+                    length = self._length(line, most)
+                    if length > self._max_bulk:
+                        self.long = self._left = length
+                        continue
                     if length >= 0:
                         # Bounded as a sum too: many at the bound would be held until the last has come.
                         self._total = self._total + length if self._open else length
--- a/badgeryoke/resp/server_link.py
+++ b/badgeryoke/resp/server_link.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import math
 import socket
@@ -16,15 +17,18 @@
 
 from tornado.iostream import IOStream, StreamClosedError
 
-from badgeryoke.actor import Actor, Turns, new_socket, pump
+from badgeryoke.actor import READ_CHUNK, Actor, Turns, new_socket
 from badgeryoke.execution import Execution, Query
-from badgeryoke.resp.parser import ErrorReply, Parser, Value, command, number, pairs
+from badgeryoke.relay import WINDOW, Relay, Room
+from badgeryoke.resp.parser import MAX_LONG, ErrorReply, Parser, Passed, Value, command, number, pairs
 
 log = logging.getLogger("badgeryoke.resp.server")
 
 IDLE_PART = 0.5  # of the settings' idle time a connection is kept: the backend may close it sooner
 REST_MS = 10.0  # a connection is left alone after an answer where another will do: its end may follow
-BEGUN_MS = 50.0  # for the rest of an answer whose first bytes have come: it is written in one piece
+BEGUN_MS = 50.0  # without a byte more of an answer that has begun: a length that does not fit, or no end
+STALLED_MS = 3000.0  # the same of a long value, whose length fits until it is shown that it does not
+RELAY_CHUNK = 16 * 1024  # read at once of a long value
 MOST_REPORT, MOST_FIGURE = 256, 1e9  # of a report: its length, and each of its figures
 MOST_OPENING = 8  # connections of one backend on their way up; further attempts wait for these or for others
 
@@ -69,9 +73,10 @@
             return Settled()
         execution.error(words)
         return Settled() if words.startswith("ERR failed") else Settled(f"error {words[:80]!r}", False)
-    if not isinstance(reply, list) or not 1 <= len(reply) <= 3 or type(reply[0]) is not bytes:
+    if not isinstance(reply, list) or not 1 <= len(reply) <= 3 or type(reply[0]) not in (bytes, Passed):
         execution.error("malformed answer")
         return Settled("answer is not an array that begins with a value", False)
+    value = reply[0] if type(reply[0]) is bytes else b""  # a long one has been passed on
     use, load = ([*reply[1:], None, None])[:2]
     # Each figure by itself: one that cannot be read is none, and costs neither the other nor the answer.
     cost = 0.0
@@ -89,7 +94,7 @@
         complaint = "load report unreadable"
     if not isinstance(use, bytes | None) or not isinstance(load, bytes | None):
         complaint = "figures on use or load are no strings"
-    execution.served(reply[0], cost, report)
+    execution.served(value, cost, report)
     return Settled(complaint)
 
 
@@ -102,7 +107,11 @@
         self.used_at = 0.0
         self.up = False
         self.begun = False  # an answer has come in part
-        self.parser = Parser(max_items=8)
+        self.heard_at = 0.0  # when a byte of it came last
+        self.relay: Relay | None = None  # a long value is on its way
+        self.room = asyncio.Event()  # the relay takes more; while it does not, nothing is read
+        self.paused = False
+        self.parser = Parser(max_items=8, max_long=MAX_LONG)
         self.stream = IOStream(new_socket(address), max_buffer_size=256 * 1024)
         self.stream.set_close_callback(lambda: owner.post(owner.closed, self))
         self._task = asyncio.ensure_future(self._live(address))
@@ -114,7 +123,16 @@
             self.stream.close()
             return
         self.owner.post(self.owner.opened, self)
-        await pump(self.stream, lambda data: self.owner.deliver(self.owner.arrived, self, data))
+        with contextlib.suppress(StreamClosedError):
+            while True:
+                chunk = READ_CHUNK if self.relay is None else RELAY_CHUNK
+                data = await self.stream.read_bytes(chunk, partial=True)
+                self.owner.deliver(self.owner.arrived, self, data)
+                while self.relay is not None and self.relay.full and not self.stream.closed():
+                    self.paused = True
+                    self.room.clear()
+                    await self.room.wait()
+                    self.paused, self.heard_at = False, self.owner.now()
 
 
 class RespServerLink(Actor):
@@ -122,8 +140,9 @@
 
     def __init__(self, address: tuple[str, int], loop: Turns, clock: Callable[[], float], *,
                  report_names: tuple[str, ...], connect_ms: float, idle_ms: float,
-                 most: int, most_units: float = MOST_FIGURE) -> None:
+                 most: int, most_units: float = MOST_FIGURE, room: Room | None = None) -> None:
         super().__init__(loop)
+        self._room = room or Room(WINDOW)
         self.address = address
         self._most_units = most_units
         self._clock, self._names = clock, report_names
@@ -135,6 +154,10 @@
         self._closed = False
         self._complained = False
 
+    def now(self) -> float:
+        """The clock, ms."""
+        return self._clock()
+
     def retune(self, report_names: tuple[str, ...], connect_ms: float, idle_ms: float,
                most_units: float) -> None:
         """Go by new settings from the next attempt on."""
@@ -250,12 +273,16 @@
             return
         execution, parser = connection.execution, connection.parser
         values = parser.feed(data)
+        connection.heard_at = self._clock()
+        if parser.long:
+            self._pass_on(connection, execution)
         if execution is None:
             self._complain("answered what nobody asked")
             connection.stream.close()
         elif values:
-            connection.execution = execution.on_abandon = None
+            connection.execution = execution.on_abandon = connection.relay = None
             connection.begun = False
+            parser.forget_long()
             settled = settle(execution, values[0], self._names, self._most_units)
             if settled.complaint:
                 self._complain(settled.complaint)
@@ -272,22 +299,58 @@
             connection.begun = True
             self._loop.call_later(BEGUN_MS / 1000.0, self.deliver, self._unended, connection, execution)
 
+    def _pass_on(self, connection: _Connection, execution: Execution | None) -> None:
+        """What has come of a long value."""
+        parser = connection.parser
+        pieces, parser.pieces = parser.pieces, []
+        if execution is None:
+            return
+        if connection.relay is None:
+            if not execution.query.streams:
+                parser.fault = parser.fault or "length out of bounds"  # nobody there can take it in pieces
+                return
+            relay = connection.relay = Relay(parser.long, self._room)
+            relay.on_room = connection.room.set
+            execution.begins(relay)
+        for piece in pieces:
+            connection.relay.put(piece)
+        if parser.long_whole:
+            connection.relay.end()
+
     def _unended(self, connection: _Connection, execution: Execution) -> None:
         """The rest of an answer has not come: a length that does not fit, or a value that has no end."""
         if connection.begun and connection.execution is execution:
-            self._spoilt(connection, execution, "began an answer and did not end it")
+            patience = BEGUN_MS if connection.relay is None else STALLED_MS
+            left = connection.heard_at + patience - self._clock()
+            if connection.paused or left > 0:
+                wait_s = (patience if connection.paused else left) / 1000.0
+                self._loop.call_later(wait_s, self.deliver, self._unended, connection, execution)
+            else:
+                self._spoilt(connection, execution, "began an answer and did not end it")
 
     def _spoilt(self, connection: _Connection, execution: Execution, text: str) -> None:
         """An answer that cannot be read: it may have run, and the connection is done with."""
         self._complain(text)
         connection.execution = execution.on_abandon = None
-        execution.error("malformed answer")
+        self._broken_off(connection, execution, lambda: execution.error("malformed answer"))
         connection.stream.close()
 
+    @staticmethod
+    def _broken_off(connection: _Connection, execution: Execution, end: Callable[[], None]) -> None:
+        """An attempt ends without the end of its answer; one whose long value came whole is served."""
+        relay, connection.relay = connection.relay, None
+        if relay is not None and relay.whole:
+            execution.served(b"")
+            return
+        if relay is not None:
+            relay.fail()
+        end()
+
     def _abandoned(self, connection: _Connection, execution: Execution) -> None:
         """Nobody waits any more: closing the connection ends the attempt at the backend."""
         if connection.execution is execution:
-            connection.execution = None
+            connection.execution = connection.relay = None
+            connection.room.set()
             connection.stream.close()
 
     def closed(self, connection: _Connection) -> None:
@@ -297,9 +360,11 @@
         if connection in self._idle:
             self._idle.remove(connection)
         execution, connection.execution = connection.execution, None
+        connection.room.set()
         if execution is not None:
             execution.on_abandon = None
-            execution.lost(str(connection.stream.error or "connection ended"))
+            detail = str(connection.stream.error or "connection ended")
+            self._broken_off(connection, execution, lambda: execution.lost(detail))
         if not connection.up:
             self._opening -= 1
             # Refused or never up: whoever waits is told at once, unless another connection is on its way.
--- a/martenstep/decide.py
+++ b/martenstep/decide.py
@@ -12,7 +12,7 @@
 
 from martenstep.interface import (
     Action, Cancel, Count, Due, Effect, Event, Fail, Group, Left, Members, Outcome, Plan, Refuse, Request,
-    RequestClass, Scope, Send, Server, Settings, State, Subscribe, Total, Verdict, Wake, Where,
+    RequestClass, Scope, Send, Server, Settings, Started, State, Subscribe, Total, Verdict, Wake, Where,
 )
 if TYPE_CHECKING:
     from martenstep.watch.sight import Sight
@@ -26,7 +26,8 @@
 HEAD_PART = 0.9  # of the ceiling's headroom is used: confirmed sends may pass the quota by what is read late
 NAME_LIVES = 2.5  # a name lives for this many periods: its own, and the next for the closing read
 CALL_GAIN = 0.3  # the chance of a call moves by about this part with each answer
-CALL_BUSY = 0.25  # of the time-out: an answer later than this tells of a line at the counter
+CALL_BUSY = 0.25  # of the time-out: an answer so much later than the quickest tells of a line at the counter,
+CALL_FLOOR = 0.4  # ... which is held to be quicker than this: it may have been heard in a crowd alone
 CALL_LEAST = 0.05  # chance of a call while none is answered, so that a recovery is noticed
 CALL_MOST = 8.0  # above 1, so that tries of less than usual worth are asked for too while there is no crowd
 CLOSE_BELOW = 0.75  # of the burst left: under this the old period's end matters, and is read
@@ -211,6 +212,7 @@
         self._ledgers: dict[int, Ledger] = {}
         self._calls: dict[int, Ledger] = {}
         self._chance = 1.0 if settings.has_counter else 0.0  # of a call, where its answer has the usual worth
+        self._quickest = CALL_FLOOR * settings.counter_timeout_ms  # answer of the counter
         self._worth = 0.0  # EWMA of what an answer is worth
         self._conform = {plan.name: PRIOR for plan in settings.plans}  # EWMA of the asked
         self._swept = -math.inf
@@ -335,7 +337,8 @@
         units, quota = led.asked.pop(event.name), led.quota
         current = event.name == name_of(led.customer, led.period, led.epoch)
         good = event.verdict is Verdict.OK
-        late = event.rtt_ms / max(self._settings.counter_timeout_ms, 1.0) if good else 1.0
+        self._quickest = min(self._quickest, event.rtt_ms) if good else self._quickest
+        late = (event.rtt_ms - self._quickest) / max(self._settings.counter_timeout_ms, 1.0) if good else 1.0
         step = CALL_GAIN * (1 - late / CALL_BUSY)
         self._chance = min(max(self._chance * math.exp(step), CALL_LEAST), CALL_MOST)
         if not good:
@@ -690,6 +693,9 @@
                 return self._due(now, event.token)
             case Left():
                 self._drop(event.id)
+            case Started(id=rid) if (job := self._jobs.get(rid)) and job.server:
+                # The answer has begun: what it takes from here on tells nothing of the server's queue.
+                self._fleet._peers[job.server.id].out.pop((rid, len(job.attempts) - 1), None)
             case Members():
                 self._fleet.members(event)
                 if event.scope in (Scope.WARM_COPY, Scope.LOST) and self._settings.must_subscribe:
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -398,3 +398,18 @@
                              api.Total(name, api.Verdict.TIMEOUT, 50.0))
                     heapq.heappush(due, (now + total.rtt_ms, order, me, total))
     assert -plan.ceiling_slack <= lowest < plan.ceiling_burst
+
+
+@pytest.mark.parametrize(("takes_ms", "grows"), [(15.0, True), (40.0, False)])
+def test_a_counter_that_is_slow_for_all_is_no_crowd_and_one_that_becomes_slow_is(takes_ms: float,
+                                                                                  grows: bool) -> None:
+    """One that never took less than 15 of 50 ms was hardly asked any more."""
+    made = gateway()
+    quota = made._quota
+    quota._chance = 0.5
+    for n in range(20):
+        led = quota.ledger(START, request(f"r{n}", customer=n))
+        led.owed = 1.0
+        [call] = only(quota.ask(START, led), api.Count)
+        quota.total(START, api.Total(call.name, api.Verdict.OK, 15.0 if n < 5 else takes_ms, 1.0))
+    assert (quota._chance > 1.0) is grows and (quota._chance < 0.1) is not grows
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,187 @@
+"""Long values: passed on in pieces, with back-pressure, in order, and ended so that the client can tell."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import Any
+
+import pytest
+
+from badgeryoke.relay import WINDOW, WINDOW_LEAST, Relay, Room
+from badgeryoke.resp import server_link as server_link_module
+from badgeryoke.resp.parser import MAX_BULK, MAX_LONG, Parser, Passed
+from tests.standins import connect, one_gateway, query
+from tests.test_front import ask, play
+from tests.test_service import until
+
+TAIL = b"\r\n$13\r\nused=1,cost=2\r\n$23\r\ninflight=1,latency_ms=9\r\n"
+
+
+def value(size: int) -> bytes:
+    return bytes(n * 7 % 251 for n in range(1024)) * (size // 1024) + b"x" * (size % 1024)
+
+
+# The parser and the relay -----------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("step", [1000, 4097, 65536, 10**9])
+@pytest.mark.parametrize("size", [MAX_BULK + 1, 300_000])
+def test_a_long_value_comes_in_pieces_however_it_is_cut(size: int, step: int) -> None:
+    parser, sent, got = Parser(max_items=8, max_long=MAX_LONG), value(size), []
+    data = b"*3\r\n$%d\r\n" % size + sent + TAIL
+    values: list[Any] = []
+    for at in range(0, len(data), step):
+        values += parser.feed(data[at:at + step])
+        got += parser.pieces
+        parser.pieces = []
+        assert parser.held <= step + 128  # no more is kept than has just come
+    assert b"".join(got) == sent and parser.long == size and parser.long_whole
+    assert values == [[b"", b"used=1,cost=2", b"inflight=1,latency_ms=9"]] and type(values[0][0]) is Passed
+    parser.forget_long()
+    assert parser.idle and parser.feed(b"*1\r\n$1\r\nv\r\n") == [[b"v"]]
+
+
+@pytest.mark.parametrize(("data", "fault"), [
+    (b"*3\r\n$%d\r\n" % (MAX_LONG + 1), "length out of bounds"),
+    (b"*3\r\n$1\r\nv\r\n$70000\r\n", "length out of bounds"),  # not the first of the array
+    (b"$70000\r\n", "length out of bounds"),  # in no array
+    (b"*1\r\n$70000\r\n" + b"x" * 70000 + b"yy", "bulk string without its line end"),
+])
+def test_what_is_no_long_value_is_a_fault(data: bytes, fault: str) -> None:
+    parser = Parser(max_items=8, max_long=MAX_LONG)
+    parser.feed(data)
+    assert parser.fault == fault
+
+
+def test_the_room_is_shared_out_and_never_below_the_least() -> None:
+    room = Room(4 * WINDOW)
+    relays = [Relay(1, room) for _ in range(4)]
+    assert room.window == WINDOW
+    relays += [Relay(1, room) for _ in range(4)]
+    assert room.window == WINDOW // 2
+    relays += [Relay(1, room) for _ in range(1000)]
+    assert room.window == WINDOW_LEAST
+    for relay in relays:
+        relay.fail()
+        relay.leave()  # counts once
+    assert room.open == 0
+
+
+def test_a_relay_gives_room_back_as_it_is_taken_from() -> None:
+    relay, told = Relay(10, Room(8 * 1024)), []
+    relay.on_room = lambda: told.append(relay.held)
+    relay.put(b"a" * 5000)
+    relay.put(b"b" * 5000)
+    assert relay.full and relay.take(1000) == b"a" * 1000 and told == []
+    assert relay.take(4500) == b"a" * 4000 + b"b" * 500 and told == [4500]
+    relay.end()
+    relay.fail()  # whole already
+    assert not relay.broken and relay.take(10**6) == b"b" * 4500
+
+
+# On sockets -------------------------------------------------------------------------------------------
+
+
+def test_a_long_value_goes_through_whole_between_small_ones_and_its_figures_count() -> None:
+    async def test() -> None:
+        big = value(MAX_LONG)
+        script = [b"*3\r\n$%d\r\n" % MAX_LONG + big + TAIL, b"*1\r\n$5\r\nsmall\r\n"]
+        async with one_gateway(script=script) as (app, node, _):
+            assert await ask(app, query("r1"), query("r2")) == [big, b"small"] or {
+                command[2] for command in node.commands} == {b"r1", b"r2"}
+            assert await ask(app, query("r3")) == [b"value"]
+            assert app.core.figures.ended["balance-check"] == [3, 0, 0]
+            assert app._room.open == 0 and app.core.unanswered == 0
+
+    play(test)
+
+
+def test_the_first_bytes_go_on_at_once_and_the_rest_as_it_comes() -> None:
+    async def test() -> None:
+        async with one_gateway(script=[None]) as (app, node, _):
+            reader, writer = await connect(app.address)
+            writer.write(query())
+            await until(lambda: node.commands)
+            node.writers[0].write(b"*3\r\n$100000\r\nfirst")
+            assert await reader.readexactly(14) == b"$100000\r\nfirst"
+            assert app.core.unanswered == 1
+            node.writers[0].write(b"x" * 99_995)
+            assert await reader.readexactly(99_995) == b"x" * 99_995
+            node.writers[0].write(TAIL[:2])  # its own line end: the client has it whole, figures or not
+            assert await reader.readexactly(2) == b"\r\n"
+            node.writers[0].write(TAIL[2:])
+            assert await ask(app, query("r2")) == [b"value"]
+            writer.close()
+
+    play(test)
+
+
+def test_a_slow_reader_holds_back_its_server_and_nobody_else() -> None:
+    async def test() -> None:
+        big = value(MAX_LONG)
+        async with one_gateway(script=[b"*3\r\n$%d\r\n" % MAX_LONG + big + TAIL]) as (app, _, _list):
+            with socket.create_connection(app.address[:2]) as slow:
+                slow.sendall(query())
+                await until(lambda: app._room.open)
+                [run] = app.core._running.values()
+                relay = run.relay
+                assert relay is not None
+                await until(lambda: relay.full)
+                for n in range(20):
+                    assert await ask(app, query(f"beside{n}")) == [b"value"]
+                    assert relay.held <= WINDOW + server_link_module.RELAY_CHUNK * 4
+                slow.setblocking(False)
+                got = bytearray()
+                loop = asyncio.get_running_loop()
+                head = b"$%d\r\n" % MAX_LONG
+                while len(got) < len(head) + MAX_LONG + 2:
+                    got += await loop.sock_recv(slow, 300_000)
+                assert got == head + big + b"\r\n"
+            await until(lambda: app.core.unanswered == 0)
+
+    play(test)
+
+
+@pytest.mark.parametrize("how", ["reset", "stall", "spoilt"])
+def test_a_value_that_breaks_midway_ends_so_that_the_client_can_tell(
+        how: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(server_link_module, "STALLED_MS", 100.0 if how == "stall" else 60_000.0)
+
+    async def test() -> None:
+        async with one_gateway(script=[None]) as (app, node, _):
+            reader, writer = await connect(app.address)
+            writer.write(query("r1", "load-send", key="k"))
+            await until(lambda: node.commands)
+            link = app._links[1][1]
+            assert isinstance(link, server_link_module.RespServerLink)
+            link._clock = lambda: asyncio.get_running_loop().time() * 1000.0
+            node.writers[0].write(b"*3\r\n$70000\r\nfirst")
+            assert await reader.readexactly(13) == b"$70000\r\nfirst"
+            if how == "reset":
+                node.writers[0].transport.abort()
+            elif how == "spoilt":
+                node.writers[0].write(b"x" * 70_000)  # five more than belong there
+            rest = await reader.read()
+            assert len(rest) <= 70_000 and not rest.endswith(b"\r\n")  # the end, and no whole value
+            assert len(node.commands) == 1  # never sent again
+            assert app.core.figures.ended["load-send"] == [0, 0, 1] and app._room.open == 0
+            writer.close()
+
+    play(test)
+
+
+def test_a_client_that_leaves_in_the_middle_ends_the_attempt() -> None:
+    async def test() -> None:
+        async with one_gateway(script=[None]) as (app, node, _):
+            reader, writer = await connect(app.address)
+            writer.write(query())
+            await until(lambda: node.commands)
+            node.writers[0].write(b"*3\r\n$70000\r\nfirst")
+            await reader.readexactly(13)
+            writer.transport.abort()
+            await node.ended.wait()
+            await until(lambda: not app.core._running)
+            assert app._room.open == 0
+
+    play(test)
