--- a/martenstep/decide.py
+++ b/martenstep/decide.py
@@ -589,9 +589,9 @@
     def outcome(self, now: float, event: Outcome, aim: float) -> None:
         """Learn from how an attempt ended."""
         peer = self._peers.get(event.server)
-        self._out -= 1
         if peer is None:
             return
+        self._out -= (event.id, event.attempt) in peer.out  # else its answer had begun before
         sent = peer.out.pop((event.id, event.attempt), now)
         bad = event.verdict not in (Verdict.OK, Verdict.MOOT, Verdict.CANCELLED)
         self._unmet += POOL_GAIN * ((event.verdict is Verdict.CONNECT_FAILED) - self._unmet)
@@ -656,9 +656,8 @@
 class Job:
     """One request from its arrival to its final answer."""
 
-    def __init__(self, request: Request, cls: RequestClass, ledger: Ledger, now: float) -> None:
-        self.request, self.cls, self.ledger = request, cls, ledger
-        self.most = 0  # attempts, by the settings under which it came
+    def __init__(self, request: Request, cls: RequestClass, ledger: Ledger, now: float, most: int) -> None:
+        self.request, self.cls, self.ledger, self.most = request, cls, ledger, most  # attempts at most
         self.arrived, self.deadline = now, now + request.remaining_ms
         self.attempts: list[int] = []  # the server of each
         self.server: Server | None = None  # where an attempt is out
@@ -694,8 +693,10 @@
             case Left():
                 self._drop(event.id)
             case Started(id=rid) if (job := self._jobs.get(rid)) and job.server:
-                # The answer has begun: what it takes from here on tells nothing of the server's queue.
-                self._fleet._peers[job.server.id].out.pop((rid, len(job.attempts) - 1), None)
+                # The answer has begun: what it takes from here on tells nothing of the server's queue, and
+                # takes none of what the servers bear.
+                self._fleet._out -= 1
+                self._fleet._peers[job.server.id].out.pop((rid, len(job.attempts) - 1))
             case Members():
                 self._fleet.members(event)
                 if event.scope in (Scope.WARM_COPY, Scope.LOST) and self._settings.must_subscribe:
@@ -736,8 +737,7 @@
         if cls is None:
             raise ValueError(f"class {event.cls!r} is not among the settings")
         led = self._quota.ledger(now, event)
-        job = self._jobs[event.id] = Job(event, cls, led, now)
-        job.most = self._settings.max_attempts
+        job = self._jobs[event.id] = Job(event, cls, led, now, self._settings.max_attempts)
         if led.plan.rate <= 0:
             return self._send(now, job)
         wait = led.quota.wait(now, event.units) if led.told or led.version else 0.0
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -13,6 +13,7 @@
 from badgeryoke.execution import Execution, Query, Stage
 from martenstep import interface as api
 from martenstep.decide import Gateway
+from tests import helpers
 from tests.standins import NOW_MS, settings
 
 AIM = api.RequestClass("balance-check", 400.0, 2000.0, api.Effect.SAFE)
@@ -98,6 +99,18 @@
         return self.link.executions[-1]
 
 
+
+def test_an_answer_that_has_begun_takes_none_of_what_servers_bear() -> None:
+    """Long values held the places of queries that servers had room for."""
+    made = helpers.gateway(has_counter=False)
+    [sent] = helpers.only(made.handle(helpers.START, helpers.request("a", spread=1)), api.Send)
+    assert made._fleet._out == 1 and made._fleet._peers[sent.server].out
+    made.handle(helpers.START + 10.0, api.Started("a"))
+    assert made._fleet._out == 0 and not made._fleet._peers[sent.server].out
+    made.handle(helpers.START + 900.0, helpers.outcome(sent, api.Verdict.OK, rtt=10.0))
+    assert made._fleet._out == 0 and not made._jobs
+
+
 def test_a_served_attempt_is_the_answer() -> None:
     bench = Bench()
     bench.ask()
