Name each optional setting once; test a value on its way during PAUSE and SIGTERM

Need: a second reading found each key of the settings written twice, and no test of a value that is still on its way when a drain begins.

--- a/martenstep/settings.py
+++ b/martenstep/settings.py
@@ -26,6 +26,11 @@
     return float(value)
 
 
+def _get(table: dict[str, Any], key: str, default: float) -> float:
+    """A figure that may be left out."""
+    return _figure(table.get(key, default), key)
+
+
 def _above_0(value: Any, path: str) -> float:
     if not (figure := _figure(value, path)) > 0:
         raise ValueError(f"setting {path}: expected a number above 0, got {value!r}")
@@ -61,41 +66,41 @@
                     deadline_ms=_above_0(_need(entry, "deadline_ms"), "classes[].deadline_ms"),
                     effect=_effect(entry),
                     group=api.Group(entry.get("group", "all")),
-                    window_ms=_figure(entry.get("window_ms", 0.0), "window_ms"),
-                    worth=_figure(entry.get("worth", 1.0), "worth"),
-                    late_share=_figure(entry.get("late_share", 0.0), "late_share"),
+                    window_ms=_get(entry, "window_ms", 0.0),
+                    worth=_get(entry, "worth", 1.0),
+                    late_share=_get(entry, "late_share", 0.0),
                 )
                 for entry in _need(raw, "classes")
             ),
             plans=tuple(
                 api.Plan(
                     name=_need(entry, "name"),
-                    rate=_figure(entry.get("units_per_s", 0.0), "units_per_s"),
-                    burst=_figure(entry.get("most_at_once", 0.0), "most_at_once"),
+                    rate=_get(entry, "units_per_s", 0.0),
+                    burst=_get(entry, "most_at_once", 0.0),
                     open_limit=_whole(entry.get("open", 0), "open"),
-                    price=_figure(entry.get("worth_factor", 1.0), "worth_factor"),
-                    over_worth=_figure(entry.get("over_worth", 0.0), "over_worth"),
-                    over_cost=_figure(entry.get("beyond_costs", 0.0), "beyond_costs"),
-                    ceiling_rate=_figure(entry.get("hard_rate", 0.0), "hard_rate"),
-                    ceiling_burst=_figure(entry.get("cap_depth", 0.0), "cap_depth"),
-                    ceiling_slack=_figure(entry.get("tolerance", 0.0), "tolerance"),
+                    price=_get(entry, "worth_factor", 1.0),
+                    over_worth=_get(entry, "over_worth", 0.0),
+                    over_cost=_get(entry, "beyond_costs", 0.0),
+                    ceiling_rate=_get(entry, "hard_rate", 0.0),
+                    ceiling_burst=_get(entry, "cap_depth", 0.0),
+                    ceiling_slack=_get(entry, "tolerance", 0.0),
                 )
                 for entry in raw.get("contracts", [])
             ),
             has_counter=bool(family.get("has_counter", False)),
-            counter_timeout_ms=_figure(family.get("counter_timeout_ms", 0.0), "counter_timeout_ms"),
-            max_units=_figure(family.get("max_units", 1.0), "max_units"),
+            counter_timeout_ms=_get(family, "counter_timeout_ms", 0.0),
+            max_units=_get(family, "max_units", 1.0),
             max_attempts=_whole(_above_0(limits.get("try_limit", 1), "policy_limits.try_limit"),
                                 "policy_limits.try_limit"),
             can_cancel=bool(limits.get("cancelling", False)),
-            max_retry_after_ms=_figure(limits.get("max_retry_after_ms", 0.0), "max_retry_after_ms"),
+            max_retry_after_ms=_get(limits, "max_retry_after_ms", 0.0),
             must_subscribe=raw.get("discovery", "automatic") == "subscribe",
-            ask_within_ms=_figure(rules.get("ask_every_ms", 0.0), "ask_every_ms"),
-            answer_slack_ms=_figure(rules.get("answer_slack_ms", 0.0), "answer_slack_ms"),
-            cold_from=_figure(rules.get("cold_from", 1.0), "cold_from"),
-            warm_within_ms=_figure(rules.get("warm_within_ms", 0.0), "warm_within_ms"),
-            fall_multiple=_figure(rules.get("fall_multiple", 1.0), "fall_multiple"),
-            fall_window_ms=_figure(rules.get("overload_for_ms", 0.0), "overload_for_ms"),
+            ask_within_ms=_get(rules, "ask_every_ms", 0.0),
+            answer_slack_ms=_get(rules, "answer_slack_ms", 0.0),
+            cold_from=_get(rules, "cold_from", 1.0),
+            warm_within_ms=_get(rules, "warm_within_ms", 0.0),
+            fall_multiple=_get(rules, "fall_multiple", 1.0),
+            fall_window_ms=_get(rules, "overload_for_ms", 0.0),
         )
     except TypeError as error:
         raise ValueError(f"settings: a value has the wrong form ({error})") from None
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -185,3 +185,22 @@
             assert app._room.open == 0
 
     play(test)
+
+
+@pytest.mark.parametrize("how", ["pause", "end"])
+def test_a_value_on_its_way_outlives_a_drain_and_then_its_connection_closes(how: str) -> None:
+    async def test() -> None:
+        async with one_gateway(script=[None]) as (app, node, _):
+            reader, writer = await connect(app.address)
+            writer.write(query())
+            await until(lambda: node.commands)
+            node.writers[0].write(b"*3\r\n$70000\r\nfirst")
+            assert await reader.readexactly(13) == b"$70000\r\nfirst"
+            getattr(app, how)()
+            await until(lambda: app._drain.state.value in ("drained", "closing"))
+            node.writers[0].write(b"x" * 69_995 + TAIL)
+            assert await reader.read() == b"x" * 69_995 + b"\r\n"  # whole, then the end
+            assert app.core.figures.ended["balance-check"] == [1, 0, 0]
+            writer.close()
+
+    play(test)
