Watch a socket only from its connecting on: every connection had been taken for up too soon

Ruled out: discovery (its link sets no close callback, and the lists came), clients (PONG was given, requests were taken), descriptors (20 to 40 of 512), memory. Cause: _Connection in badgeryoke/counter.py and resp/server_link.py set a close callback in its constructor, before connect(). Tornado then watches the idle socket for reading; a socket that has not begun to connect reports a hang-up, and the stale event reaches the stream while it connects: SO_ERROR is 0, so it counts as up, and the read behind it fails with ENOTCONN. On loopback sockets the connection was up by then, which hid it; where a connection takes its time, what is written counts as sent on a connection that never came up. Change: actor.dial begins to connect, on_close sets the callback behind it, also for one that has failed already; counter, server links, discovery and Diameter peers use them. Tests: an attempt and a counter call on a connection that never comes up; both fail without the change.

--- a/badgeryoke/actor.py
+++ b/badgeryoke/actor.py
@@ -116,6 +116,25 @@
     return made
 
 
+def dial(address: tuple[str, int], most_buffered: int) -> tuple[IOStream, asyncio.Future[IOStream]]:
+    """A connection on its way up, and what tells that it is.
+
+    Nothing may watch the socket before: one that has not begun to connect reports a hang-up, which Tornado
+    takes for the end of the connecting, and what is written then counts as sent on a connection that never
+    came up.  A close callback watches, and so belongs behind this: on_close.
+    """
+    stream = IOStream(new_socket(address), max_buffer_size=most_buffered)
+    return stream, stream.connect(address)
+
+
+def on_close(stream: IOStream, tell: Callable[[], None]) -> None:
+    """Tell of a connection's end, also where it has ended already."""
+    if stream.closed():
+        tell()
+    else:
+        stream.set_close_callback(tell)
+
+
 async def pump(stream: IOStream, take: Callable[[bytes], None]) -> None:
     """Hand over what a connection brings, piece by piece, until it ends: the one coroutine that it costs."""
     try:
--- a/badgeryoke/counter.py
+++ b/badgeryoke/counter.py
@@ -12,7 +12,7 @@
 
 from tornado.iostream import IOStream, StreamClosedError
 
-from badgeryoke.actor import Actor, Turns, new_socket, pump
+from badgeryoke.actor import Actor, Turns, dial, on_close, pump
 from badgeryoke.resp.parser import ErrorReply, Parser, Value, command
 from martenstep.interface import Total, Verdict
 
@@ -59,13 +59,13 @@
         self.parser = Parser(max_items=1, max_depth=1, max_line=256)
         self.up = self.of_use = False  # connected; has brought an answer
         self.heard = self.opened_at = 0.0
-        self.stream = IOStream(new_socket(address), max_buffer_size=256 * 1024)
-        self.stream.set_close_callback(lambda: owner.post(owner.closed, self))
-        self._task = asyncio.ensure_future(self._live(owner, address))
+        self.stream, coming_up = dial(address, 256 * 1024)
+        on_close(self.stream, lambda: owner.post(owner.closed, self))
+        self._task = asyncio.ensure_future(self._live(owner, coming_up))
 
-    async def _live(self, owner: CounterLink, address: tuple[str, int]) -> None:
+    async def _live(self, owner: CounterLink, coming_up: asyncio.Future[IOStream]) -> None:
         try:
-            await self.stream.connect(address)
+            await coming_up
         except (StreamClosedError, OSError):
             self.stream.close()
             return
--- a/badgeryoke/diameter/peer.py
+++ b/badgeryoke/diameter/peer.py
@@ -9,7 +9,7 @@
 
 from tornado.iostream import IOStream, StreamClosedError
 
-from badgeryoke.actor import Actor, Turns, pump
+from badgeryoke.actor import Actor, Turns, on_close, pump
 from badgeryoke.diameter import codec
 from badgeryoke.diameter.codec import Avp, Code, Command, Fault, Message, Result
 
@@ -54,7 +54,7 @@
         self._asked = False  # a DWR is out
         self._ending = False  # close once what is gathered has been written
         self._next_id = random.getrandbits(32)
-        stream.set_close_callback(lambda: self.post(self._gone))
+        on_close(stream, lambda: self.post(self._gone))
         loop.call_later(EXCHANGE_S, self.deliver, self._exchange_late)
 
     async def read(self) -> None:
--- a/badgeryoke/diameter/server_link.py
+++ b/badgeryoke/diameter/server_link.py
@@ -9,7 +9,7 @@
 
 from tornado.iostream import IOStream, StreamClosedError
 
-from badgeryoke.actor import Actor, Turns, new_socket
+from badgeryoke.actor import Actor, Turns, dial
 from badgeryoke.diameter import codec
 from badgeryoke.diameter.codec import Avp, Code, Command, Fault, Message, Result
 from badgeryoke.diameter.peer import Identity, Peer, State
@@ -214,20 +214,19 @@
 
     def _connect(self) -> None:
         try:
-            sock = new_socket(self.address)
+            stream, coming_up = dial(self.address, 4 * codec.MAX_MESSAGE)
         except OSError as fault:
             self.complain(f"no socket: {fault}")
             waiting, self._waiting = self._waiting, []
             for execution in waiting:
                 execution.lost(f"no socket: {fault}")
             return
-        stream = IOStream(sock, max_buffer_size=4 * codec.MAX_MESSAGE)
         connection = self._connection = _Connection(stream, self, self._loop, self._watchdog_s)
-        self._task = asyncio.ensure_future(self._live(connection))
+        self._task = asyncio.ensure_future(self._live(connection, coming_up))
 
-    async def _live(self, connection: _Connection) -> None:
+    async def _live(self, connection: _Connection, coming_up: asyncio.Future[IOStream]) -> None:
         try:
-            await connection.stream.connect(self.address)
+            await coming_up
         except (StreamClosedError, OSError):
             connection.stream.close()
             return
--- a/badgeryoke/host_group.py
+++ b/badgeryoke/host_group.py
@@ -12,7 +12,7 @@
 import ujson
 from tornado.iostream import IOStream
 
-from badgeryoke.actor import READ_CHUNK, Actor, Turns, new_socket
+from badgeryoke.actor import READ_CHUNK, Actor, Turns, dial
 from martenstep.interface import Members, Scope, Server, State
 
 log = logging.getLogger("badgeryoke.host_group")
@@ -234,8 +234,9 @@
 
     async def _converse(self, address: tuple[str, int]) -> None:
         """One connection's calls; returns where the other side wants a new one."""
-        stream = self._stream = IOStream(new_socket(address), max_buffer_size=MAX_BODY + MAX_HEAD)
-        await asyncio.wait_for(stream.connect(address), SILENT_S)
+        stream, coming_up = dial(address, MAX_BODY + MAX_HEAD)
+        self._stream = stream
+        await asyncio.wait_for(coming_up, SILENT_S)
         keep = True
         while keep and not self._stopped and address == self._address:
             # After a lost connection the watch goes on from the version held: what was missed comes first.
--- a/badgeryoke/resp/server_link.py
+++ b/badgeryoke/resp/server_link.py
@@ -17,7 +17,7 @@
 
 from tornado.iostream import IOStream, StreamClosedError
 
-from badgeryoke.actor import READ_CHUNK, Actor, Turns, new_socket
+from badgeryoke.actor import READ_CHUNK, Actor, Turns, dial, on_close
 from badgeryoke.execution import Execution, Query
 from badgeryoke.relay import WINDOW, Relay, Room
 from badgeryoke.resp.parser import MAX_LONG, ErrorReply, Parser, Passed, Value, command, number, pairs
@@ -112,13 +112,13 @@
         self.room = asyncio.Event()  # the relay takes more; while it does not, nothing is read
         self.paused = False
         self.parser = Parser(max_items=8, max_long=MAX_LONG)
-        self.stream = IOStream(new_socket(address), max_buffer_size=256 * 1024)
-        self.stream.set_close_callback(lambda: owner.post(owner.closed, self))
-        self._task = asyncio.ensure_future(self._live(address))
+        self.stream, coming_up = dial(address, 256 * 1024)
+        on_close(self.stream, lambda: owner.post(owner.closed, self))
+        self._task = asyncio.ensure_future(self._live(coming_up))
 
-    async def _live(self, address: tuple[str, int]) -> None:
+    async def _live(self, coming_up: asyncio.Future[IOStream]) -> None:
         try:
-            await self.stream.connect(address)
+            await coming_up
         except (StreamClosedError, OSError):
             self.stream.close()
             return
--- a/tests/test_counter_faults.py
+++ b/tests/test_counter_faults.py
@@ -13,6 +13,7 @@
 
 import pytest
 
+from badgeryoke import actor
 from badgeryoke import counter as counter_module
 from badgeryoke.actor import new_socket
 from badgeryoke.counter import FROZEN_TIMES, MOST_CALLS, CounterLink
@@ -123,7 +124,7 @@
         made.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2048)
         return made
 
-    monkeypatch.setattr(counter_module, "new_socket", small)
+    monkeypatch.setattr(actor, "new_socket", small)
 
     async def test() -> None:
         async with Stuck() as counter:
--- /dev/null
+++ b/tests/test_dialling.py
@@ -0,0 +1,60 @@
+"""Connections on their way up."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import Iterator
+
+import pytest
+
+from badgeryoke.actor import Turns
+from badgeryoke.counter import CounterLink
+from badgeryoke.execution import End, Execution, Query, Stage
+from badgeryoke.resp.server_link import RespServerLink
+from martenstep.interface import Total, Verdict
+from tests.standins import HOST, NOW_MS
+from tests.test_front import play
+
+
+@pytest.fixture
+def silent() -> Iterator[int]:
+    """The port of a machine whose connections never come up: its listener's queue is full, and it drops what
+    comes."""
+    with contextlib.ExitStack() as stack:
+        listener = stack.enter_context(socket.socket())
+        listener.bind((HOST, 0))
+        listener.listen(0)
+        port: int = listener.getsockname()[1]
+        stack.enter_context(socket.create_connection((HOST, port)))
+        yield port
+
+
+def test_an_attempt_on_a_connection_that_never_comes_up_was_never_written(silent: int) -> None:
+    async def test() -> None:
+        ends: asyncio.Queue[End] = asyncio.Queue()
+        loop = Turns(asyncio.get_running_loop())
+        link = RespServerLink((HOST, silent), loop, lambda: NOW_MS, report_names=(), connect_ms=60.0,
+                              idle_ms=1000.0, most=4)
+        asked = Query("a1", "read", "plain", 7, 4000.0, 1.0, 2, safe=True)
+        link.start(Execution(asked, 0, 1, NOW_MS, NOW_MS + 4000.0, lambda _, end: ends.put_nowait(end)))
+        end = await asyncio.wait_for(ends.get(), 5)  # without this a fault would only show as a hang
+        assert (end.verdict, end.reached) == (Verdict.CONNECT_FAILED, Stage.NOT_WRITTEN)
+
+    play(test)
+
+
+def test_a_counter_call_on_a_connection_that_never_comes_up_added_nothing(silent: int) -> None:
+    async def test() -> None:
+        totals: asyncio.Queue[Total] = asyncio.Queue()
+        now = [NOW_MS]
+        link = CounterLink((HOST, silent), 50.0, Turns(asyncio.get_running_loop()), lambda: now[0])
+        link.open()
+        link.add(7, 1.0, 1000.0, totals.put_nowait)
+        await asyncio.sleep(0.01)
+        now[0] += 60.0
+        assert (await asyncio.wait_for(totals.get(), 5)).verdict is Verdict.CONNECT_FAILED
+        link.close()
+
+    play(test)
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -15,8 +15,8 @@
 
 import pytest
 
+from badgeryoke import actor
 from badgeryoke.gateway import App
-from badgeryoke.resp import server_link
 from martenstep import interface as api
 from martenstep.decide import Gateway
 from tests.standins import (
@@ -277,14 +277,14 @@
 @pytest.mark.parametrize("fault", FAULTS, ids=lambda one: one.__name__)
 @pytest.mark.parametrize("stage", STAGES, ids=lambda one: one.__name__)
 def test_whatever_fails_the_rules_hold(stage: Any, fault: Any, monkeypatch: pytest.MonkeyPatch) -> None:
-    real = server_link.new_socket  # type: ignore[attr-defined]
+    real = actor.new_socket
 
     def small(address: tuple[str, int]) -> socket.socket:
         made: socket.socket = real(address)
         made.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2048)
         return made
 
-    monkeypatch.setattr(server_link, "new_socket", small)
+    monkeypatch.setattr(actor, "new_socket", small)
 
     async def test() -> None:
         async with world() as at:
