Serve from the list known at the start only where discovery does not answer

Cause: HostGroup.start took `known` at once and PING said yes by it, 20 to 54 ms before the agent's answer was read; what the agent holds counts as told. With three gateways the odds of a request in that time are small. Change: discovery is asked first; `known` is gone by when it has not answered within 0.5 s (the agent answers at once unless discovery is down) or the call has failed. Until then PING says no. Test: the first list told is discovery's, and with a silent agent the known one; fails without the change.

--- a/badgeryoke/host_group.py
+++ b/badgeryoke/host_group.py
@@ -21,6 +21,9 @@
 WAIT_MS = 5000  # how long a watch may wait: short, so that a watch that has died in silence is soon found out
 SILENT_S = 1.0  # no answer for this long after that: the connection is given up
 WHOLE_S = 2.0  # for an answer to the first call, which need not wait for anything
+# The agent answers at once unless discovery is down: only after this is the list known at the start gone by.
+# What the agent holds counts as told, and of a fleet's fresh gateways some would send to one that drains.
+KNOWN_AFTER_S = 0.5
 BACK_OFF_S = (0.02, 0.15)  # before the next connection: at first and at most
 MAX_HEAD, MAX_BODY = 16 * 1024, 4 * 1024 * 1024
 STATES = {"active": State.UP, "leaving": State.DRAINING, "left": State.GONE}
@@ -164,11 +167,16 @@
         self.ready = False  # some list is known
 
     def start(self) -> None:
-        """Go by the list known at the start until discovery answers."""
-        if self._known is not None and self._known.hosts:
-            self.post(self._take, self._known, Scope.WARM_COPY)
+        """Ask discovery, and go by the list known at the start where it does not answer."""
+        self._loop.call_later(KNOWN_AFTER_S, self.deliver, self._unanswered)
         self._task = asyncio.ensure_future(self._watch())
 
+    def _unanswered(self) -> None:
+        """Discovery has not answered, or not with a list."""
+        if self._known is not None and self._known.hosts and not self.ready:
+            log.warning("discovery has not answered: going by the list known at the start")
+            self._take(self._known, Scope.WARM_COPY)
+
     @property
     def heard(self) -> bool:
         """Whether discovery itself has told a list."""
@@ -222,6 +230,7 @@
             except Exception as fault:  # whatever discovery sends, the watch goes on
                 if address == self._address:
                     self._complain(f"{type(fault).__name__}: {fault}")
+                    self.post(self._unanswered)
             finally:
                 if self._stream is not None:
                     self._stream.close()
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -342,6 +342,8 @@
     """A gateway that is ready, and is ended in order."""
     app = App(made, clock)
     app.start()
+    while made.known is not None and not app._hosts.ready:
+        await asyncio.sleep(0)
     try:
         yield app
     finally:
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -256,7 +256,7 @@
     at.crash()
     await asyncio.sleep(0)
     at.app = at.start()
-    await until(lambda: at.app._counter and at.app._counter._used)
+    await until(lambda: at.app._counter and at.app._counter._used and at.app._hosts.ready)
 
 
 STAGES = [taken, waiting_for_the_counter, not_yet_written, partly_written, written_whole, answer_partly_in,
@@ -305,13 +305,13 @@
             if fault is sigterm:
                 await at.app.done.wait()
                 at.app = at.start()
-                await until(lambda: at.app._counter and at.app._counter._used)
+                await until(lambda: at.app._counter and at.app._counter._used and at.app._hosts.ready)
             elif fault is server_drained:
                 before = len(at.node.commands)
                 assert str(await at.ask("late")).startswith("-BUSY") and len(at.node.commands) == before
                 return
             # The quota is neither passed nor lost: what is left of it is let through, and no more.
-            await until(lambda: at.app._counter and at.app._counter._used)
+            await until(lambda: at.app._counter and at.app._counter._used and at.app._hosts.ready)
             for n in range(BURST + 4):
                 at.module._quota._chance = 1.0  # the counter is sound again, and asked
                 await at.ask(f"more{n}")
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -112,6 +112,13 @@
     play(test)
 
 
+class Silent(Discovery):
+    """An agent that says nothing."""
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.read()
+
+
 class Watch:
     """A host group and what it told."""
 
@@ -122,12 +129,16 @@
         self.group.start()
 
 
-def test_the_list_known_at_the_start_then_the_whole_one_then_changes() -> None:
+def test_the_list_known_at_the_start_where_discovery_is_absent_then_the_whole_one_then_changes() -> None:
     async def test() -> None:
-        async with Discovery(entry("a", 1), entry("b", 2)) as list_:
-            watch = Watch(list_.port, roster(entry("a", 9)))
-            first, hosts = await watch.told.get()
-            assert first.scope is Scope.WARM_COPY and [h.address[1] for h in hosts.values()] == [9]
+        async with Discovery() as absent:
+            port = absent.port
+        watch = Watch(port, roster(entry("a", 9)))
+        first, hosts = await watch.told.get()
+        assert first.scope is Scope.WARM_COPY and [h.address[1] for h in hosts.values()] == [9]
+        list_ = Discovery(entry("a", 1), entry("b", 2))
+        list_.port = port
+        async with list_:
             full, hosts = await watch.told.get()
             assert full.scope is Scope.FULL and len(hosts) == 2
             assert full.servers[0].id == first.servers[0].id  # the same name keeps its number
@@ -145,6 +156,23 @@
     play(test)
 
 
+def test_the_list_known_at_the_start_is_not_gone_by_before_discovery_had_its_time() -> None:
+    """What the agent holds counts as told: a fresh gateway would send to a server that drains."""
+    async def test() -> None:
+        async with Discovery(entry("a", 1, "leaving")) as list_:
+            watch = Watch(list_.port, roster(entry("a", 1)))
+            first, _ = await watch.told.get()
+            assert first.scope is Scope.FULL and [s.state for s in first.servers] == [State.DRAINING]
+            watch.group.stop()
+        async with Silent() as agent:  # discovery is down
+            watch = Watch(agent.port, roster(entry("a", 1)))
+            first, _ = await watch.told.get()
+            assert first.scope is Scope.WARM_COPY
+            watch.group.stop()
+
+    play(test)
+
+
 @pytest.mark.parametrize("body", [b"{", b"[]", b'{"version":3,"full":true,"servers":[{"id":"a"}]}'])
 def test_a_malformed_list_is_a_failed_call_and_the_watch_goes_on(body: bytes) -> None:
     async def test() -> None:
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -87,6 +87,7 @@
         made = config(list_.port, None, roster(entry("a", node.port)))
         app = App(made, lambda: NOW_MS, lambda: new(made))
         app.start()
+        await until(lambda: app._hosts.ready)
         try:
             await test(app, node)
         finally:
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -60,6 +60,7 @@
             app = App(made, lambda: NOW_MS, lambda: replace(
                 made, discovery=(HOST, moved.port), counter=(HOST, new.port)))
             app.start()
+            await until(lambda: app._hosts.ready)
             reader, writer = await connect(app.address)
             writer.write(query("open"))
             await node.books.arrived.wait()
@@ -90,6 +91,7 @@
         async with Backend() as node, Discovery(entry("a", node.port)) as list_:
             app = App(config(list_.port, None, roster(entry("a", node.port))), lambda: NOW_MS, faulty)
             app.start()
+            await until(lambda: app._hosts.ready)
             app.reload()
             assert await ask(app, query()) == [b"value"]
             app.end()
