Test that the end of a connection that failed at once is told

on_close is set behind the connecting, so an end that came before has to be told by itself; no test had provoked it.

--- a/tests/test_dialling.py
+++ b/tests/test_dialling.py
@@ -8,8 +8,9 @@
 from collections.abc import Iterator
 
 import pytest
+from tornado.iostream import StreamClosedError
 
-from badgeryoke.actor import Turns
+from badgeryoke.actor import Turns, dial, on_close
 from badgeryoke.counter import CounterLink
 from badgeryoke.execution import End, Execution, Query, Stage
 from badgeryoke.resp.server_link import RespServerLink
@@ -58,3 +59,16 @@
         link.close()
 
     play(test)
+
+
+def test_the_end_of_a_connection_that_failed_at_once_is_told_too() -> None:
+    async def test() -> None:
+        told: list[bool] = []
+        stream, coming_up = dial((HOST, 1), 1024)
+        stream.close()  # as where connecting fails in the call itself
+        on_close(stream, lambda: told.append(True))
+        assert told == [True]
+        with contextlib.suppress(StreamClosedError):
+            await coming_up
+
+    play(test)
