Write no repeat of a keyed query after its window: a late connection passed it

The module looks at the window when it decides; the server link writes when a connection is up, which may take the whole connect time-out (700 ms there). The gap itself is certain, by the new test, which fails without the change.

Change: the core keeps when the first attempt that may have run was started, and a repeat is not written after that time, the window, less the settings' slack for the way (badgeryoke/core.py, execution.py).

--- a/badgeryoke/core.py
+++ b/badgeryoke/core.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import logging
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -104,12 +105,16 @@
         "may_have_run",
         "query",
         "relay",
+        "risk_ms",
         "timer",
+        "window_ms",
     )
 
     def __init__(self, rid: str, query: Query, answer: Callable[[Answer], None], deadline_ms: float,
-                 harmless: bool) -> None:
+                 harmless: bool, window_ms: float = math.inf) -> None:
         self.id, self.query, self.deadline_ms = rid, query, deadline_ms
+        self.window_ms = window_ms  # how long after an attempt that may have run another may come to a server
+        self.risk_ms = math.inf  # when the first such attempt was started
         self.answer: Callable[[Answer], None] | None = answer  # None: the final answer is given
         self.harmless = harmless  # a client's own repeat does no harm even if it may have run
         self.may_have_run = False
@@ -147,6 +152,7 @@
         self._classes = {cls.name: cls for cls in settings.classes}
         self._plans = {plan.name for plan in settings.plans}
         self._gateways, self._max_units = settings.gateways, settings.max_units
+        self._slack_ms = settings.answer_slack_ms  # for the way to a server
         self._aim_ms = min((cls.aim_ms for cls in settings.classes), default=1000.0)
 
     def retune(self, settings: api.Settings) -> None:
@@ -199,7 +205,8 @@
         query.safe = cls.effect is api.Effect.SAFE  # kept with it, whatever new settings make of the class
         harmless = (cls.effect is api.Effect.SAFE
                     or (cls.effect is api.Effect.KEYED and cls.group is api.Group.ALL))
-        run = _Running(rid, query, answer, self._clock() + query.remaining_ms - guard, harmless)
+        window = cls.window_ms if cls.effect is api.Effect.KEYED else math.inf
+        run = _Running(rid, query, answer, self._clock() + query.remaining_ms - guard, harmless, window)
         self.post(self._take, run)
         return lambda: self.post(self._left, run)
 
@@ -381,7 +388,7 @@
         deadline = min(run.deadline_ms, now + action.timeout_ms) if action.timeout_ms > 0 else run.deadline_ms
         execution = Execution(run.query, attempt, action.server, now, deadline,
                               lambda ended, end: self.post(self._ended, run, ended, end), run.may_have_run,
-                              self.figures.attempted)
+                              self.figures.attempted, run.risk_ms + run.window_ms - self._slack_ms)
         link = self._links(action.server)
         if run.execution is not None or run.answer is None:
             execution.moot("one attempt at a time, and none after the answer")
@@ -402,6 +409,7 @@
             run.execution = None
         if not end.verdict.never_ran:
             run.may_have_run = True
+            run.risk_ms = min(run.risk_ms, execution.started_ms)
         rtt = run.first_ms if run.relay is not None else self._clock() - execution.started_ms
         if run.relay is not None:
             if end.verdict is not api.Verdict.OK and run.answer is not None:
--- a/badgeryoke/execution.py
+++ b/badgeryoke/execution.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
@@ -73,14 +74,16 @@
     """One attempt.  Its first end counts, and every later one is ignored."""
 
     __slots__ = ("_on_end", "_on_written", "attempt", "begun", "deadline_ms", "final", "on_abandon",
-                 "on_begun", "query", "relay", "repeat", "server", "stage", "started_ms")
+                 "on_begun", "query", "relay", "repeat", "server", "stage", "started_ms", "write_by_ms")
 
     def __init__(self, query: Query, attempt: int, server: int, started_ms: float, deadline_ms: float,
                  on_end: Callable[[Execution, End], None], repeat: bool = False,
-                 on_written: Callable[[], None] | None = None) -> None:
+                 on_written: Callable[[], None] | None = None, write_by_ms: float = math.inf) -> None:
         self.query, self.attempt, self.server = query, attempt, server
         self.started_ms, self.deadline_ms = started_ms, deadline_ms
-        self.repeat = repeat  # an earlier attempt may have run
+        self.repeat = repeat  # an earlier attempt may have run, and ...
+        # ... after this time servers no longer know its key: a connection may take long to come up.
+        self.write_by_ms = write_by_ms if query.send_by_ms is None else min(write_by_ms, query.send_by_ms)
         self.begun = False  # its first byte may be out
         self.final = False  # no attempt will follow this one
         self.stage = Stage.NOT_WRITTEN
@@ -95,8 +98,7 @@
 
     def may_be_written(self, now_ms: float) -> bool:
         """Whether there is still a point, and no harm, in writing it."""
-        by = self.query.send_by_ms
-        return self.stage is Stage.NOT_WRITTEN and now_ms < self.deadline_ms and (by is None or now_ms < by)
+        return self.stage is Stage.NOT_WRITTEN and now_ms < min(self.deadline_ms, self.write_by_ms)
 
     def written(self) -> None:
         """The last byte is out: from here on it may have run."""
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -223,6 +223,18 @@
     assert not bench.link.executions and len(bench.answers) == 1
 
 
+def test_a_repeat_whose_connection_comes_up_after_the_window_is_not_written() -> None:
+    """The window was looked at before the connection was made, which may take as long as it."""
+    bench = Bench()
+    bench.ask("load-send", key="k")
+    assert bench.last.may_be_written(bench.loop.clock() + 1500.0)  # nothing may have run: no window yet
+    bench.last.written()
+    bench.last.lost("reset")
+    bench.loop.run(0.1)
+    assert len(bench.link.executions) == 2 and bench.last.may_be_written(NOW_MS + 900.0)
+    assert not bench.last.may_be_written(NOW_MS + 1000.0)
+
+
 def test_the_last_word_on_a_full_core() -> None:
     bench = Bench()
     bench.core._running.update({str(-n): None for n in range(1, 10_001)})  # type: ignore[misc]
