Grow the back-off at discovery with the fleet, spread it by the seed, and halve it on an answer

At fault: BACK_OFF_S, 20 to 150 ms whatever the fleet, without phase, and back to 20 ms at one answer.

Change: at most 0.05 s a gateway of the fleet (0.15 s at 3 as before, 2 s at 40, 5 s at 200), times 0.5 to 1.5 by the seed, halved by each answer.

--- a/badgeryoke/gateway.py
+++ b/badgeryoke/gateway.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import os
+import random
 import signal
 import socket
 import time
@@ -83,7 +84,8 @@
                          self._counter or NoCounter(loop), int(room * BODIES_PART),
                          config.operators.counter_watch.enabled)
         self._room = Room(int(room * LONG_PART))
-        self._hosts = HostGroup(config.discovery, config.known, loop, self._changed)
+        self._hosts = HostGroup(config.discovery, config.known, loop, self._changed, config.settings.gateways,
+                                random.Random(config.seed).random)
         self._front = RespFront(self.core, loop, int(config.sockets * CLIENT_PART), self._hosts,
                                 int(room * HALVES_PART), int(config.sockets * CROWD_PART))
         self._diameter: DiameterFront | None = None
--- a/badgeryoke/host_group.py
+++ b/badgeryoke/host_group.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import math
+import random
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -24,7 +25,10 @@
 # The agent answers at once unless discovery is down: only after this is the list known at the start gone by.
 # What the agent holds counts as told, and of a fleet's fresh gateways some would send to one that drains.
 KNOWN_AFTER_S = 0.5
-BACK_OFF_S = (0.02, 0.15)  # before the next connection: at first and at most
+BACK_OFF_S = (0.02, 0.15)  # before the next connection: at first, and at most where gateways are few
+# Discovery is one service for all gateways: what all of them ask again in a second must not grow with them.
+EACH_S = 0.05  # of the longest back-off, for each gateway of the fleet
+LONGEST_S = 5.0  # and no longer: half of the time after which what is listed counts as told
 MAX_HEAD, MAX_BODY = 16 * 1024, 4 * 1024 * 1024
 STATES = {"active": State.UP, "leaving": State.DRAINING, "left": State.GONE}
 
@@ -154,9 +158,12 @@
     """Keeps the list, and tells of each change: the module's members, and who is at which address."""
 
     def __init__(self, address: tuple[str, int], known: Roster | None, loop: Turns,
-                 changed: Callable[[Members, dict[int, Host]], None]) -> None:
+                 changed: Callable[[Members, dict[int, Host]], None], gateways: int = 1,
+                 draw: Callable[[], float] = random.random) -> None:
         super().__init__(loop)
         self._address, self._known, self._changed = address, known, changed
+        self._back_off, self._draw = BACK_OFF_S[0], draw
+        self.longest = min(max(BACK_OFF_S[1], EACH_S * gateways), LONGEST_S)
         self._numbers: dict[str, int] = {}  # the module's ids are numbers
         self._last = 0
         self._hosts: dict[int, Host] = {}
@@ -221,12 +228,10 @@
 
     async def _watch(self) -> None:
         """Call, take in the answer, call again at once; connect anew after a fault."""
-        back_off = BACK_OFF_S[0]
         while not self._stopped:
             address = self._address
             try:
                 await self._converse(address)
-                back_off = BACK_OFF_S[0]
             except Exception as fault:  # whatever discovery sends, the watch goes on
                 if address == self._address:
                     self._complain(f"{type(fault).__name__}: {fault}")
@@ -236,10 +241,20 @@
                     self._stream.close()
                     self._stream = None
             if address != self._address:
-                back_off = BACK_OFF_S[0]  # it has moved: nothing is known against the new address
+                self._back_off = BACK_OFF_S[0]  # it has moved: nothing is known against the new address
             elif not self._stopped:
-                await asyncio.sleep(back_off)
-                back_off = min(back_off * 2, BACK_OFF_S[1])
+                await asyncio.sleep(self.pause())
+
+    def pause(self) -> float:
+        """How long until the next try, s: twice as long each time, times a half to one and a half by chance,
+        so that gateways which lost discovery at one moment do not come back to it at one."""
+        pause, self._back_off = self._back_off, min(self._back_off * 2, self.longest)
+        return pause * (0.5 + self._draw())
+
+    def answered(self) -> None:
+        """A list has come: half as long next time.  Where discovery has no room for all that ask, one answer
+        does not tell that it has."""
+        self._back_off = max(self._back_off / 2, BACK_OFF_S[0])
 
     async def _converse(self, address: tuple[str, int]) -> None:
         """One connection's calls; returns where the other side wants a new one."""
@@ -260,6 +275,7 @@
             if response.status != 200:
                 raise ValueError(f"status {response.status}")
             roster = read_roster(ujson.loads(bytes(response.body)))
+            self.answered()
             if self._complaint:
                 self._complaint = ""
                 log.info("discovery answers again, version %d", roster.version)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -2,13 +2,18 @@
 
 from __future__ import annotations
 
+import random
 from collections import Counter
+from itertools import pairwise
 
 import pytest
 
+from badgeryoke.actor import Turns
+from badgeryoke.host_group import HostGroup
 from martenstep import interface as api
 from tests.fleet import Fleet
 from tests.helpers import server
+from tests.test_core import FakeLoop
 
 SERVERS = [server(n) for n in range(1, 61)]
 
@@ -63,3 +68,35 @@
         early = [at for at, _, got in fleet.sends if got == to and born < at < born + 1000]
         assert len(early) <= 10
         assert most_in_a_window([at for at, _, got in fleet.sends if got == to and at > born], 1000.0) <= 16
+
+
+def calls_after_a_loss(gateways: int, seconds: float) -> list[float]:
+    """When all gateways ask discovery again, which has turned all of them away at 0 and goes on doing so."""
+    calls = []
+    for n in range(gateways):
+        group = HostGroup(("127.0.0.1", 1), None, Turns(FakeLoop()), lambda *_: None, gateways,
+                          random.Random(n).random)
+        at = 0.0
+        while (at := at + group.pause()) < seconds:
+            calls.append(at)
+    return sorted(calls)
+
+
+@pytest.mark.parametrize(("gateways", "most"), [(3, 35), (40, 45), (200, 80)])
+def test_what_all_ask_discovery_again_is_bounded_and_spread(gateways: int, most: int) -> None:
+    """herd+vast: 40 gateways asked again 6 times a second each; 2 changes reached them all day."""
+    calls = calls_after_a_loss(gateways, 60.0)
+    late = [at for at in calls if at >= 20]
+    assert most_in_a_window(late, 1.0) <= most
+    assert most_in_a_window([at for at in calls if at > 5], 0.02) <= max(4, gateways / 10)
+    assert max(b - a for a, b in pairwise(late)) < 7.5  # and nobody is out of sight for long
+
+
+def test_one_answer_does_not_undo_the_back_off() -> None:
+    group = HostGroup(("127.0.0.1", 1), None, Turns(FakeLoop()), lambda *_: None, 40, lambda: 0.5)
+    before = [group.pause() for _ in range(12)]
+    group.answered()
+    assert before[0] == 0.02 and before[-1] == group.longest == 2.0 and group.pause() == 1.0
+    for _ in range(20):
+        group.answered()
+    assert group.pause() == 0.02
