Let discovery's back-off follow new settings, and close gaps that a second reading found

Cause: at SIGHUP module and core took a new number of gateways, discovery's back-off kept the old one. HostGroup.retune takes it; the reload test fails without it.

--- a/badgeryoke/gateway.py
+++ b/badgeryoke/gateway.py
@@ -203,6 +203,7 @@
         kept = {key: getattr(old, key) for key in OF_THE_PROCESS}
         self._config = taken = replace(config, counter=config.counter or old.counter, **kept)
         self._hosts.move(taken.discovery)
+        self._hosts.retune(taken.settings.gateways)
         if self._counter is not None and taken.counter is not None:
             self._counter.move(taken.counter)
             self._counter.retune(taken.settings.counter_timeout_ms)
--- a/badgeryoke/host_group.py
+++ b/badgeryoke/host_group.py
@@ -5,7 +5,6 @@
 import asyncio
 import logging
 import math
-import random
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -158,12 +157,12 @@
     """Keeps the list, and tells of each change: the module's members, and who is at which address."""
 
     def __init__(self, address: tuple[str, int], known: Roster | None, loop: Turns,
-                 changed: Callable[[Members, dict[int, Host]], None], gateways: int = 1,
-                 draw: Callable[[], float] = random.random) -> None:
+                 changed: Callable[[Members, dict[int, Host]], None], gateways: int,
+                 draw: Callable[[], float]) -> None:
         super().__init__(loop)
         self._address, self._known, self._changed = address, known, changed
         self._back_off, self._draw = BACK_OFF_S[0], draw
-        self.longest = min(max(BACK_OFF_S[1], EACH_S * gateways), LONGEST_S)
+        self.retune(gateways)
         self._numbers: dict[str, int] = {}  # the module's ids are numbers
         self._last = 0
         self._hosts: dict[int, Host] = {}
@@ -194,6 +193,11 @@
         """The module's number of each server that discovery has named."""
         return self._numbers
 
+    def retune(self, gateways: int) -> None:
+        """The fleet has so many gateways: what all of them ask is this one's part."""
+        self.longest = min(max(BACK_OFF_S[1], EACH_S * gateways), LONGEST_S)
+        self._back_off = min(self._back_off, self.longest)
+
     def move(self, address: tuple[str, int]) -> None:
         """Discovery is at another address: ask there for the whole list; until then the old one stands."""
         if address != self._address:
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -74,7 +74,7 @@
         for action in actions:
             match action:
                 case api.Send(id=rid, server=server):
-                    attempt = sum(1 for _ in self.made[n]._jobs[rid].attempts) - 1
+                    attempt = len(self.made[n]._jobs[rid].attempts) - 1
                     self.sends.append((self.now, n, server))
                     self.out[server] += 1
                     self._open[n, rid] = attempt, server, self.now
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -70,26 +70,26 @@
         assert most_in_a_window([at for at, _, got in fleet.sends if got == to and at > born], 1000.0) <= 16
 
 
-def calls_after_a_loss(gateways: int, seconds: float) -> list[float]:
+def calls_after_a_loss(gateways: int, seconds: float) -> list[list[float]]:
     """When all gateways ask discovery again, which has turned all of them away at 0 and goes on doing so."""
     calls = []
     for n in range(gateways):
         group = HostGroup(("127.0.0.1", 1), None, Turns(FakeLoop()), lambda *_: None, gateways,
                           random.Random(n).random)
-        at = 0.0
+        at, own = 0.0, []
         while (at := at + group.pause()) < seconds:
-            calls.append(at)
-    return sorted(calls)
+            own.append(at)
+        calls.append(own)
+    return calls
 
 
 @pytest.mark.parametrize(("gateways", "most"), [(3, 35), (40, 45), (200, 80)])
 def test_what_all_ask_discovery_again_is_bounded_and_spread(gateways: int, most: int) -> None:
     """herd+vast: 40 gateways asked again 6 times a second each; 2 changes reached them all day."""
     calls = calls_after_a_loss(gateways, 60.0)
-    late = [at for at in calls if at >= 20]
-    assert most_in_a_window(late, 1.0) <= most
-    assert most_in_a_window([at for at in calls if at > 5], 0.02) <= max(4, gateways / 10)
-    assert max(b - a for a, b in pairwise(late)) < 7.5  # and nobody is out of sight for long
+    assert most_in_a_window([at for own in calls for at in own if at >= 20], 1.0) <= most
+    assert most_in_a_window([at for own in calls for at in own if at > 5], 0.02) <= max(4, gateways / 10)
+    assert max(b - a for own in calls for a, b in pairwise(own)) <= 7.5  # and nobody is without news for long
 
 
 def test_one_answer_does_not_undo_the_back_off() -> None:
@@ -97,6 +97,10 @@
     before = [group.pause() for _ in range(12)]
     group.answered()
     assert before[0] == 0.02 and before[-1] == group.longest == 2.0 and group.pause() == 1.0
+    group.retune(3)  # new settings: the fleet is smaller, and then larger than before
+    assert group.pause() == group.longest == pytest.approx(0.15)
+    group.retune(500)
+    assert [group.pause() for _ in range(8)][-1] == 5.0
     for _ in range(20):
         group.answered()
     assert group.pause() == 0.02
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -37,6 +37,8 @@
 from tests.test_front import play
 from tests.test_service import until
 
+TAKE = b"TAKE %d\n" % handover.VERSION
+
 # What is handed over ----------------------------------------------------------------------------------
 
 
@@ -84,8 +86,9 @@
 
 
 @pytest.mark.parametrize("spoil", [
-    lambda head, body: (head.replace(b"STATE 2", b"STATE 1"), body),
-    lambda head, body: (b"NONSENSE", body), lambda head, body: (b"STATE 2 1 999999999", body),
+    lambda head, body: (head.replace(b"STATE %d" % handover.VERSION, b"STATE 1"), body),
+    lambda head, body: (b"NONSENSE", body),
+    lambda head, body: (b"STATE %d 1 999999999" % handover.VERSION, body),
     lambda head, body: (head, body[:-1] + bytes([body[-1] ^ 1])),
     lambda head, body: (head, b"\0" * len(body))])
 def test_a_spoilt_or_unknown_state_is_not_taken(spoil: Any) -> None:
@@ -167,7 +170,7 @@
     play(test)
 
 
-@pytest.mark.parametrize("said", [b"TAKE 2\n", b"TAKE 2\nNONSENSE\n", b"TAKE 9\n", b"x" * 2000])
+@pytest.mark.parametrize("said", [TAKE, TAKE + b"NONSENSE\n", b"TAKE 9\n", b"x" * 2000])
 def test_a_new_process_that_breaks_off_leaves_the_old_one_in_service(said: bytes, tmp_path: Path) -> None:
     async def test() -> None:
         async with platform(tmp_path) as (made, _, _counter):
@@ -176,7 +179,8 @@
             reader, writer = await asyncio.open_unix_connection(path)
             writer.write(said)
             if said.startswith(b"TAKE"):
-                assert (await reader.readline()).startswith(b"STATE 2 " if b"2" in said else b"ERR ")
+                head = b"STATE %d " % handover.VERSION if said.startswith(TAKE) else b"ERR "
+                assert (await asyncio.wait_for(reader.readline(), 5.0)).startswith(head)
             writer.transport.abort()
             assert await ask_once(app.address, "r") == b"value" and app._drain.state is State.SERVING
             await ended(app)
@@ -191,7 +195,7 @@
 
     async def answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         if left == "spoilt":
-            writer.write(b"STATE 2 12 4\nnope")
+            writer.write(b"STATE %d 12 4\nnope" % handover.VERSION)
         await reader.read()
         writer.close()
 
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -125,7 +125,7 @@
     def __init__(self, port: int, known: Roster | None = None) -> None:
         self.told: asyncio.Queue[tuple[Members, dict[int, Any]]] = asyncio.Queue()
         self.group = HostGroup((HOST, port), known, Turns(asyncio.get_running_loop()),
-                               lambda members, hosts: self.told.put_nowait((members, hosts)))
+                               lambda members, hosts: self.told.put_nowait((members, hosts)), 1, lambda: 0.5)
         self.group.start()
 
 
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -145,7 +145,8 @@
 
     async def test(app: App, node: Backend) -> None:
         one = replace(app._config, settings=made_settings(classes=(SAFE,), has_counter=False))
-        two = replace(app._config, settings=made_settings(classes=(SAFE, KEYED), has_counter=False))
+        grown = made_settings(classes=(SAFE, KEYED), has_counter=False, gateways=40)
+        two = replace(app._config, settings=grown)
         files[:] = [ConfigError("settings: missing"), replace(two, shape={"a": None}), one, two]
         app._config = replace(app._config, shape={"a": None, "b": None})
         app.reload()
@@ -158,6 +159,7 @@
         assert (app.core.figures.reloads, app.core.figures.reload_errors) == (2, 2)
         app.pause()
         files[:] = [one]
+        assert app._hosts.longest == 2.0  # the fleet has grown, for discovery as well
         app.reload()  # during a drain
         app.resume()
         assert "syntax" in str(await ask(app, query("gone", "load-send", key="k3")))
