--- /dev/null
+++ b/fleet/errors.py
@@ -0,0 +1,157 @@
+"""What can go wrong with what the fleet shares, each kind a type of its own that says what an operator can do.
+
+Errors are values.  `docs/operators/errors.md` holds the same table; a test keeps both in step.
+"""
+
+from __future__ import annotations
+
+from typing import ClassVar
+
+import msgspec
+
+
+class FleetError(msgspec.Struct, frozen=True, tag_field="error"):
+    """What happened, and to whom (a group, a member, a contract, a key)."""
+
+    whom: str
+    what: str
+
+    code: ClassVar[str] = ""
+    do: ClassVar[str] = ""  # what an operator can do
+    retry: ClassVar[bool] = False  # whether the same call with the same id may be made again at once
+
+    def __str__(self) -> str:
+        return f"{self.code}: {self.whom}: {self.what}; {self.do}"
+
+
+class BadCall(FleetError, frozen=True, tag="bad-call"):
+    """A call that names an unknown key, or a value out of its bounds."""
+
+    code = "bad-call"
+    do = "Mend the key that is named and call again."
+
+
+class NoLeader(FleetError, frozen=True, tag="no-leader"):
+    """No leader of the group is known; nothing was taken."""
+
+    code = "no-leader"
+    do = "Wait two seconds and call again; if it lasts, see whether a majority of the group's members runs."
+    retry = True
+
+
+class UnknownOutcome(FleetError, frozen=True, tag="unknown-outcome"):
+    """The call went out and no answer came: it may have been taken, or may yet be."""
+
+    code = "unknown-outcome"
+    do = "Make the same call with the same id: it is not taken twice, and its answer tells what became of it."
+    retry = True
+
+
+class Crowded(FleetError, frozen=True, tag="crowded"):
+    """A bound on calls, entries or state is reached; nothing was taken."""
+
+    code = "crowded"
+    do = "Call again later and less often; if it lasts, see which group leads too much."
+    retry = True
+
+
+class MajorityLost(FleetError, frozen=True, tag="majority-lost"):
+    """Too few copies of a group are left to acknowledge anything."""
+
+    code = "majority-lost"
+    do = ("Bring the lost machines back with their disks. Where the disks are gone for good, see 'A group that has "
+          "lost its majority' on the operators' page.")
+
+
+class NewIncarnation(FleetError, frozen=True, tag="new-incarnation"):
+    """A member came back without its store, or with a damaged one: it votes and acknowledges nothing yet."""
+
+    code = "new-incarnation"
+    do = "Nothing: it is taken in as a newcomer and counts once it has caught up. See to its disk."
+
+
+class StaleIncarnation(FleetError, frozen=True, tag="stale-incarnation"):
+    """A message from, or to, a member as it was before it lost its store."""
+
+    code = "stale-incarnation"
+    do = "See that no two processes run under one name."
+
+
+class AnotherFleet(FleetError, frozen=True, tag="another-fleet"):
+    """A peer that belongs to a fleet of another name or another founding."""
+
+    code = "another-fleet"
+    do = "Compare [fleet] name and members on both machines; a folder from another fleet has to be moved away."
+
+
+class BadFrame(FleetError, frozen=True, tag="bad-frame"):
+    """A frame that cannot be read: unknown, too long, or of another version.  The link ends."""
+
+    code = "bad-frame"
+    do = "See that both run versions that know each other; otherwise look at what else calls that address."
+
+
+class StoreFailed(FleetError, frozen=True, tag="store-failed"):
+    """The store cannot be written: this member promises nothing more; requests go on."""
+
+    code = "store-failed"
+    do = "Free the disk or replace it, then start the gateway again."
+
+
+class StoreDamaged(FleetError, frozen=True, tag="store-damaged"):
+    """The store does not read as it was written: the member comes back as a newcomer."""
+
+    code = "store-damaged"
+    do = "See to the disk; the damaged file is kept beside the new one."
+
+
+class NoRoom(FleetError, frozen=True, tag="no-room"):
+    """What is asked for does not fit in what the fleet can carry."""
+
+    code = "no-room"
+    do = "Ask for what fits, or for the time from which it does; or add servers."
+    fits: float = 0.0  # in the unit asked for
+    fits_from_ms: float = 0.0  # Unix ms; 0: never within the bounds
+
+
+class NotThere(FleetError, frozen=True, tag="not-there"):
+    """No contract, lease, roll or member of that name is known."""
+
+    code = "not-there"
+    do = "Read the list of what there is, and call again with a name from it."
+
+
+class WrongState(FleetError, frozen=True, tag="wrong-state"):
+    """It stands where this step is not possible."""
+
+    code = "wrong-state"
+    do = "Read its state first; the operators' page says which steps each state allows."
+
+
+class TakenId(FleetError, frozen=True, tag="taken-id"):
+    """The id was used for another call."""
+
+    code = "taken-id"
+    do = "Call with an id of its own."
+
+
+class LeaseOver(FleetError, frozen=True, tag="lease-over"):
+    """A lease that has ended, or moved on meanwhile: nothing is held under it."""
+
+    code = "lease-over"
+    do = "Nothing: the holder asks anew. If it happens often, look for slow links or a frozen process."
+
+
+class InvariantBroken(FleetError, frozen=True, tag="invariant-broken"):
+    """A rule of the code itself does not hold: the part concerned has stopped promising."""
+
+    code = "invariant-broken"
+    do = "Keep the log and the store's folder, and start this gateway again; report it with both."
+
+
+ALL: tuple[type[FleetError], ...] = (
+    BadCall, NoLeader, UnknownOutcome, Crowded, MajorityLost, NewIncarnation, StaleIncarnation, AnotherFleet, BadFrame,
+    StoreFailed, StoreDamaged, NoRoom, NotThere, WrongState, TakenId, LeaseOver, InvariantBroken)
+AnyError = (BadCall | NoLeader | UnknownOutcome | Crowded | MajorityLost | NewIncarnation | StaleIncarnation
+            | AnotherFleet | BadFrame | StoreFailed | StoreDamaged | NoRoom | NotThere | WrongState | TakenId | LeaseOver
+            | InvariantBroken)
--- /dev/null
+++ b/fleet/invariants.py
@@ -0,0 +1,68 @@
+"""Rules that the code itself has to keep, each named and stated once, checked where state changes.
+
+In tests and the laboratory a broken one raises `Broken` with the facts.  In service it is noted: the part it concerns
+stops promising and says so, and requests go on.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from enum import Enum
+
+
+class Rule(Enum):
+    """Every invariant, with its statement."""
+
+    ONE_LEADER = "no term of a group has two leaders"
+    VOTE_ONCE = "no member votes for two in one term, or as an incarnation that lost its votes"
+    COMMITTED_STAYS = "an entry that was committed never changes and never goes"
+    OWN_TERM = "a leader commits by counting copies of an entry of its own term only"
+    STORED_FIRST = "nothing is told to another before it is on stable storage here"
+    APPLIED_ONCE = "entries are applied in order, each once"
+    CONFIG_ONE = "one change of members at a time, by one voter at the most"
+    LEASE_ONCE = "no lease is held by two at one time"
+    PARTS_IN_WHOLE = "the parts granted sum to at most the whole"
+    CONTRACTS_FIT = "admitted contracts fit in what the fleet can carry, at every moment"
+    CONNECTIONS_FIT = "connections granted to a server are within its limit"
+    OPEN_UNDER_LEASE = "no more connections are open than the lease says"
+    WAVE_KEEPS_QUORUM = "no wave of a roll takes a group below its majority, or a hall away"
+    WAVE_KEEPS_ROOM = "no wave of a roll takes what the traffic and the contracts need"
+    ROLL_FORWARD = "the steps of a roll go forward only, and nobody is drained twice"
+    COPIES_WHOLE = "no wave begins before the copies are whole"
+    ID_ONCE = "no call with the same id takes effect twice"
+
+
+class Broken(AssertionError):
+    """A rule that does not hold, in tests and the laboratory."""
+
+    def __init__(self, rule: Rule, facts: str) -> None:
+        super().__init__(f"{rule.name}: {rule.value}: {facts}")
+        self.rule = rule
+
+
+class Invariants:
+    """Checks of one process.  `strict`: raise `Broken`; else keep the rule in `broken` and tell `noted`.
+
+    `facts` is called only where the rule does not hold, so that a check that holds costs a comparison.
+    """
+
+    MOST = 64  # kept; further ones are counted alone
+
+    def __init__(self, strict: bool = True, noted: Callable[[Rule, str], None] | None = None) -> None:
+        self._strict, self._noted = strict, noted
+        self.broken: list[tuple[Rule, str]] = []
+        self.count = 0
+
+    def check(self, rule: Rule, holds: bool, facts: Callable[[], str]) -> bool:
+        """Whether the rule holds here."""
+        if holds:
+            return True
+        self.count += 1
+        said = facts()
+        if len(self.broken) < self.MOST:
+            self.broken.append((rule, said))
+        if self._noted is not None:
+            self._noted(rule, said)
+        if self._strict:
+            raise Broken(rule, said)
+        return False
--- /dev/null
+++ b/fleet/messages.py
@@ -0,0 +1,201 @@
+"""What gateways tell each other, as values: one message is one msgspec Struct, tagged by its name.
+
+A member is named in the operators' file; a member *as it is now* is its `Id`, "name/incarnation": the incarnation is
+drawn anew whenever its store is.  Votes and acknowledgements belong to an Id, never to a name.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+VERSION = 1
+Id = str  # "name/incarnation"
+
+
+def name_of(who: Id) -> str:
+    """The member's name in the operators' file."""
+    return who.partition("/")[0]
+
+
+class Config(msgspec.Struct, frozen=True, array_like=True):
+    """Who holds copies of a group.  Learners are sent everything and counted for nothing."""
+
+    voters: tuple[Id, ...]
+    learners: tuple[Id, ...] = ()
+
+    def majority(self) -> int:
+        """So many voters are one."""
+        return len(self.voters) // 2 + 1
+
+
+class Entry(msgspec.Struct, frozen=True, array_like=True):
+    """One entry of a log.  `kind`: 0 nothing (a new leader's first), 1 a command, 2 a Config."""
+
+    index: int
+    term: int
+    kind: int
+    body: bytes
+
+
+NOTHING, COMMAND, CONFIG = range(3)
+
+
+class Message(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """Any message."""
+
+
+class GroupMessage(Message, frozen=True):
+    """Of one group's replication."""
+
+    group: str
+    term: int
+
+
+class Ask(GroupMessage, frozen=True):
+    """For a vote; `pre`: only whether one would be given (pre-vote, nothing is stored by it).  `lead`: the leader has
+    handed over, so that who has heard a leader lately votes all the same."""
+
+    last_index: int
+    last_term: int
+    pre: bool
+    lead: bool = False
+
+
+class Vote(GroupMessage, frozen=True):
+    """The answer to Ask."""
+
+    granted: bool
+    pre: bool
+
+
+class Append(GroupMessage, frozen=True):
+    """Entries behind `previous`; none: a heartbeat.  `round` comes back, for reads."""
+
+    previous: int
+    previous_term: int
+    entries: tuple[Entry, ...]
+    commit: int
+    round: int
+
+
+class Appended(GroupMessage, frozen=True):
+    """The answer: what is on stable storage here.  Refused: `index` is where to try next."""
+
+    good: bool
+    index: int
+    round: int
+
+
+class Piece(GroupMessage, frozen=True):
+    """A piece of a snapshot up to (`index`, `index_term`), from byte `offset` of `size`."""
+
+    index: int
+    index_term: int
+    config: Config
+    offset: int
+    size: int
+    body: bytes
+    round: int
+
+
+class PieceTaken(GroupMessage, frozen=True):
+    """The bytes held of the snapshot up to `index`."""
+
+    index: int
+    held: int
+    round: int
+
+
+class Lead(GroupMessage, frozen=True):
+    """The leader hands over: stand for election at once."""
+
+
+class Forward(Message, frozen=True):
+    """A call on its way to the leader of the group that holds `key`."""
+
+    token: str
+    group: str
+    body: bytes
+    hops: int
+
+
+class Reply(Message, frozen=True):
+    """What became of a Forward: `body` is a `Result` in MessagePack."""
+
+    token: str
+    body: bytes
+
+
+class Ping(Message, frozen=True):
+    """SWIM's probe.  `target`: who is meant (a restarted process answers for nobody else)."""
+
+    seq: int
+    target: Id
+    gossip: tuple[Rumour, ...]
+
+
+class Ack(Message, frozen=True):
+    """Its answer; `target`: who was alive."""
+
+    seq: int
+    target: Id
+    gossip: tuple[Rumour, ...]
+
+
+class PingFor(Message, frozen=True):
+    """Probe `target` for me (SWIM's indirect probe).  A proxy that hears nothing says so with Nack (Lifeguard)."""
+
+    seq: int
+    target: Id
+    gossip: tuple[Rumour, ...]
+
+
+class Nack(Message, frozen=True):
+    """The proxy lives, and has heard nothing of the target."""
+
+    seq: int
+    target: Id
+    gossip: tuple[Rumour, ...]
+
+
+class Rumour(msgspec.Struct, frozen=True, array_like=True):
+    """What is told of a member: `state` 0 alive, 1 suspected, 2 dead, 3 left; `count` is its own, and grows when it
+    refutes a suspicion; `by` is who suspects it."""
+
+    who: Id
+    state: int
+    count: int
+    by: Id = ""
+
+
+class WhoAreYou(Message, frozen=True):
+    """A member without a founding asks."""
+
+    sender_hall: str
+
+
+class IAm(Message, frozen=True):
+    """The answer; `founding`: the record (MessagePack), empty where there is none yet."""
+
+    hall: str
+    founding: bytes
+
+
+class Found(Message, frozen=True):
+    """The founder tells the record; taken only by one that has none and is named in it."""
+
+    founding: bytes
+
+
+AnyMessage = (Ask | Vote | Append | Appended | Piece | PieceTaken | Lead | Forward | Reply | Ping | Ack | PingFor | Nack
+              | WhoAreYou | IAm | Found)
+
+
+class Envelope(msgspec.Struct, frozen=True, array_like=True):
+    """What one frame on a link holds.  `to`: the Id that is meant, empty where only the name is known."""
+
+    version: int
+    fleet: str  # its name
+    sender: Id
+    to: Id
+    messages: tuple[AnyMessage, ...]
--- a/lab/text/scenario.py
+++ b/lab/text/scenario.py
@@ -59,6 +59,29 @@
     line: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class ContractText:
+    """Reserved capacity: customers by number from 1, units a second, units, and its window."""
+
+    name: str
+    customers: tuple[int, int]
+    rate: float
+    burst: float
+    from_ms: float
+    to_ms: float
+    importance: int = 1  # classes from 1; the highest keeps its capacity longest
+
+
+@dataclass(frozen=True, slots=True)
+class RollText:
+    """A rolling drain of gateways."""
+
+    name: str
+    from_ms: float
+    gateways: tuple[int, ...]
+    at_once: int = 1
+
+
 @dataclass(frozen=True, slots=True)
 class Scenario:
     """One checked scenario.  Times in ms."""
@@ -81,6 +104,13 @@
     plans: tuple[PlanText, ...] = ()
     crowds: tuple[Crowd, ...] = ()
     faults: tuple[Fault, ...] = field(default=())
+    fleet: bool = False  # whether what the gateways share is copied among them
+    copies: int = 3
+    halls: int = 1
+    connections: int = 0  # that each server holds at once; 0: no bound
+    contracts: tuple[ContractText, ...] = ()
+    proposals: float = 0.0  # small promises a second, at random members
+    rolls: tuple[RollText, ...] = ()
 
     @property
     def trouble(self) -> tuple[float, float]:
