--- a/lab/customers.py
+++ b/lab/customers.py
@@ -23,10 +23,8 @@
         """The gateway that a try comes to at a time, ms from the start: the busiest one more often, and
         another is the busiest after each shift."""
         turn = int((now + self.phase) // self.crowd.shifts_ms)
-        if rng.random() < self.crowd.busiest:
-            index = (self.number + turn) % self.spread
-        else:
-            index = rng.randrange(self.spread)
+        busy = rng.random() < self.crowd.busiest
+        index = (self.number + turn) % self.spread if busy else rng.randrange(self.spread)
         return (self.first + index) % gateways
 
 
