Read what happens to a fleet in scenario texts: contracts, rolls, proposals, faults between gateways

The laboratory has to play a fleet that shares state. The text gains (fleet on), copies, halls, connections, contract, proposals, roll, and cut, delay, reset, mend, lose, freeze, thaw, spoil and step; quantities may be negative. A fleet's word without a fleet is an error with line and column.

--- a/lab/text/scenario.py
+++ b/lab/text/scenario.py
@@ -1,8 +1,8 @@
 """Scenarios: what a fleet is, who asks it for what, and what goes wrong when.
 
 A text is one list; `lab/scenarios/` has the shipped ones.  Times carry ms, s or min, rates /s, amounts u,
-parts %, multiples x; a range is written 4..7.  Gateways and counter parts are numbered from 1, as people
-count.
+parts %, multiples x; a range is written 4..7.  Gateways, customers and counter parts are numbered from 1, as
+people count.  What gateways share is played only where the text says (fleet on).
 """
 
 from __future__ import annotations
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from pathlib import Path
+from typing import TypeVar
 
 from lab.text.sexpr import Form, Node, Quantity, TextError, Word, read
 
@@ -225,31 +226,135 @@
     return replace(made, **changes)  # type: ignore[arg-type]
 
 
-FAULTS = ("kill", "start", "freeze", "thaw", "slow", "split", "heal", "swap", "restore", "spoil", "spike")
+FAULTS = ("kill", "start", "freeze", "thaw", "slow", "split", "heal", "swap", "restore", "spoil", "spike", "cut",
+          "delay", "reset", "mend", "lose", "step")
+PLAIN = ("kill", "start")  # what can be done to a gateway without a fleet
+TO_GATEWAY = (*PLAIN, "lose", "freeze", "thaw", "spoil", "step")
+TO_GATEWAYS = ("cut", "delay", "reset", "mend")
+COPIES = (1, 3, 5)
+Named = TypeVar("Named", ContractText, RollText)
 
 
-def _numbers(form: Form, most: int) -> tuple[int, ...]:
+def _needs_fleet(node: Node, word: str, fleet: bool) -> None:
+    if not fleet:
+        raise _fault(node, f"{word}: only where the gateways are a fleet: (gateways N (fleet on))")
+
+
+def _numbers(form: Form, most: int, start: int = 0) -> tuple[int, ...]:
     found = []
-    for node in form.items:
+    for node in form.items[start:]:
         if not isinstance(node, Quantity) or node.measures != "number" or not 1 <= node.least <= most:
             raise _fault(node, f"expected gateways from 1 to {most}, got {getattr(node, 'text', 'a list')!r}")
         found.append(int(node.least))
     return tuple(found)
 
 
-def _one_fault(at_ms: float, form: Form, gateways: int, parts: int) -> Fault:
+def _contract(form: Form, customers: int) -> ContractText:
+    values: dict[str, float] = {}
+    among: list[tuple[int, int]] = []
+
+    def one(key: str, measures: str) -> Callable[[Form], None]:
+        def take(sub: Form) -> None:
+            values[key] = _quantity(sub, 1, measures).least
+        return take
+
+    def who(sub: Form) -> None:
+        got = _quantity(sub, 1, "number", 1, customers or 1_000_000)
+        among.append((int(got.least), int(got.most)))
+
+    def importance(sub: Form) -> None:
+        values["importance"] = _whole(sub, 1, 1, 9)
+
+    name = _word(form, 1)
+    _sub(form, 2, {"customers": who, "rate": one("rate", "rate"), "burst": one("burst", "units"),
+                   "from": one("from_ms", "time"), "to": one("to_ms", "time"), "importance": importance})
+    for key, told in (("rate", "rate"), ("burst", "burst"), ("to_ms", "to")):
+        if values.get(key, 0.0) <= 0:
+            raise _fault(form, f"contract {name}: ({told} ...) is missing, or 0")
+    if not among:
+        raise _fault(form, f"contract {name}: (customers ...) is missing")
+    if values.get("from_ms", 0.0) >= values["to_ms"]:
+        raise _fault(form, f"contract {name}: its window ends before it begins")
+    return ContractText(name, among[0], values["rate"], values["burst"], values.get("from_ms", 0.0), values["to_ms"],
+                        int(values.get("importance", 1)))
+
+
+def _roll(form: Form, gateways: int) -> RollText:
+    changes: dict[str, object] = {}
+
+    def begins(sub: Form) -> None:
+        changes["from_ms"] = _quantity(sub, 1, "time").least
+
+    def who(sub: Form) -> None:
+        changes["gateways"] = told = _numbers(sub, gateways, 1)
+        if len(set(told)) != len(told) or not told:
+            raise _fault(sub, "gateways: expected each gateway once, and one at the least")
+
+    def at_once(sub: Form) -> None:
+        changes["at_once"] = _whole(sub, 1, 1, gateways)
+
+    made = RollText(_word(form, 1), -1.0, tuple(range(1, gateways + 1)))
+    _sub(form, 2, {"from": begins, "gateways": who, "at-once": at_once})
+    if "from_ms" not in changes:
+        raise _fault(form, f"roll {made.name}: (from ...) is missing")
+    return replace(made, **changes)  # type: ignore[arg-type]
+
+
+def _among_gateways(made: Fault, form: Form, gateways: int) -> Fault:
+    """What happens on the links between gateways."""
+    if form.head not in TO_GATEWAYS:
+        raise _fault(form, f"{form.head} cannot be done to gateways; {', '.join(TO_GATEWAYS)} can")
+    if form.head == "mend":
+        if len(form.items) > 2:
+            raise _fault(form.items[2], "mend: nothing more is expected here")
+        return made
+    lists = [node for node in form.items[2:] if isinstance(node, Form)]
+    groups = tuple(_numbers(node, gateways) for node in lists)
+    told = [number for group in groups for number in group]
+    if len(groups) != 2 or not all(groups) or len(set(told)) != len(told):
+        raise _fault(form, f"{form.head}: expected two groups of gateways with none in both")
+    rest = form.items[2 + len(groups):]
+    if form.items[2:2 + len(groups)] != tuple(lists):
+        raise _fault(form, f"{form.head}: expected both groups before anything else")
+    if form.head == "cut":
+        mode = _word(form, 4, ["one-way"]) if rest else ""
+        return replace(_ended(form, made, 5 if rest else 4), groups=groups, mode=mode)
+    if form.head == "delay":
+        amount = _quantity(form, 4, "time", 0.0, 60_000.0).least
+    else:
+        amount = _quantity(form, 4, "rate", 0.0, 1000.0).least
+    return replace(_ended(form, made, 5), groups=groups, amount=amount)
+
+
+def _ended(form: Form, made: Fault, length: int) -> Fault:
+    if len(form.items) > length:
+        raise _fault(form.items[length], f"{form.head}: nothing more is expected here")
+    return made
+
+
+def _one_fault(at_ms: float, form: Form, gateways: int, parts: int, fleet: bool) -> Fault:
     words = list(FAULTS)
     if form.head not in words:
         raise _fault(form.items[0] if form.items else form,
                      f"at: unknown {form.head!r}; {nearest(form.head, words)}")
-    target = _word(form, 1, ["counter", "gateway", "customers"])
+    target = _word(form, 1, ["counter", "gateway", "gateways", "customers"])
     made = Fault(at_ms, form.head, target, line=form.line)
     rest = form.items[2:]
+    if target == "gateways" or (target == "gateway" and form.head in TO_GATEWAY and form.head not in PLAIN):
+        _needs_fleet(form, form.head, fleet)
+    if target == "gateways":
+        return _among_gateways(made, form, gateways)
     if target == "gateway":
         number = int(_quantity(form, 2, "number", 1, gateways).least)
-        if form.head not in ("kill", "start"):
-            raise _fault(form, f"{form.head} cannot be done to a gateway; kill and start can")
-        return replace(made, groups=((number,),))
+        if form.head not in TO_GATEWAY:
+            raise _fault(form, f"{form.head} cannot be done to a gateway; {', '.join(TO_GATEWAY)} can")
+        if form.head == "step":
+            amount = _quantity(form, 3, "time", -1e9).least
+            return replace(_ended(form, made, 4), groups=((number,),), amount=amount)
+        return replace(_ended(form, made, 3), groups=((number,),))
+    if form.head in (*TO_GATEWAYS, "lose", "step"):
+        raise _fault(form, f"{form.head} cannot be done to {target}; it is done to "
+                           f"{'gateways' if form.head in TO_GATEWAYS else 'a gateway'}")
     if target == "customers":
         if form.head != "spike":
             raise _fault(form, f"{form.head} cannot be done to customers; spike can")
@@ -288,6 +393,21 @@
     plans: list[PlanText] = []
     crowds: list[Form] = []
     faults: list[tuple[float, Form]] = []
+    contracts: list[Form] = []
+    rolls: list[Form] = []
+    shared: list[Form] = []  # what only a fleet knows, as told
+
+    def needs_fleet(read_it: Callable[[Form], object]) -> Callable[[Form], object]:
+        def take(sub: Form) -> object:
+            shared.append(sub)
+            return read_it(sub)
+        return take
+
+    def copies(sub: Form) -> int:
+        found = _whole(sub, 1, 1, max(COPIES))
+        if found not in COPIES:
+            raise _fault(sub.items[1], f"copies: {found} is none of {', '.join(map(str, COPIES))}")
+        return found
 
     def put(key: str, read_it: Callable[[Form], object]) -> Callable[[Form], None]:
         def take(sub: Form) -> None:
@@ -313,12 +433,16 @@
         made["servers"] = _whole(sub, 1, 1, 2000)
         _sub(sub, 2, {"work": put("work_ms", both("time", 0.1, 10_000.0)),
                       "slots": put("slots", lambda s: _whole(s)),
-                      "cold": put("cold", lambda s: _whole(s, 1, 0, 2000))})
+                      "cold": put("cold", lambda s: _whole(s, 1, 0, 2000)),
+                      "connections": put("connections", needs_fleet(lambda s: _whole(s, 1, 1, 100_000)))})
 
     def gateways(sub: Form) -> None:
         made["gateways"] = _whole(sub, 1, 1, 200)
         _sub(sub, 2, {"started": put("started", lambda s: _whole(s, 1, 1, 200)),
-                      "skew": put("clock_skew_ms", lambda s: _quantity(s, 1, "time", 0.0, 5000.0).least)})
+                      "skew": put("clock_skew_ms", lambda s: _quantity(s, 1, "time", 0.0, 5000.0).least),
+                      "fleet": put("fleet", lambda s: _word(s, 1, ["on", "off"]) == "on"),
+                      "copies": put("copies", needs_fleet(copies)),
+                      "halls": put("halls", needs_fleet(lambda s: _whole(s, 1, 1, 9)))})
 
     def at(sub: Form) -> None:
         when = _quantity(sub, 1, "time").least
@@ -334,20 +458,44 @@
         "length": put("length_ms", lambda s: _quantity(s, 1, "time", 100.0, 3_600_000.0).least),
         "watch": put("watch", lambda s: _word(s, 1, ["on", "off"]) == "on"),
         "gateways": gateways, "servers": servers, "counter": counter,
-        "plan": lambda sub: plans.append(_plan(sub)), "customers": crowds.append, "at": at})
+        "plan": lambda sub: plans.append(_plan(sub)), "customers": crowds.append, "at": at,
+        "proposals": put("proposals", needs_fleet(lambda s: _quantity(s, 1, "rate", 0.0, 10_000.0).least)),
+        "contract": contracts.append, "roll": rolls.append})
     number = made.get("gateways", 3)
     assert isinstance(number, int)
     made.setdefault("started", number)
     parts = made.get("counter_parts", 1)
     assert isinstance(parts, int)
+    fleet = bool(made.get("fleet", False))
+    for sub in (*shared, *contracts, *rolls):
+        _needs_fleet(sub, sub.head, fleet)
+    if fleet and (number < (told := made.get("copies", 3))):  # type: ignore[operator]
+        raise _fault(form, f"{told} copies do not fit on {number} gateways")
     names = [plan.name for plan in plans]
-    if not plans or not crowds:
-        raise _fault(form, "a scenario needs at least one (plan ...) and one (customers ...)")
-    return Scenario(name, plans=tuple(plans), crowds=tuple(_crowd(one, names) for one in crowds),
-                    faults=tuple(sorted((_one_fault(when, one, number, parts) for when, one in faults),
+    if bool(plans) != bool(crowds) or not (plans or (fleet and made.get("proposals"))):
+        raise _fault(form, "a scenario needs at least one (plan ...) and one (customers ...), or a fleet with "
+                           "(proposals ...)")
+    made_crowds = tuple(_crowd(one, names) for one in crowds)
+    customers = sum(crowd.count for crowd in made_crowds)
+    if contracts and not crowds:
+        raise _fault(contracts[0], "contract: there are no (customers ...) that it could be for")
+    return Scenario(name, plans=tuple(plans), crowds=made_crowds,
+                    contracts=_named(contracts, [_contract(one, customers) for one in contracts]),
+                    rolls=_named(rolls, [_roll(one, number) for one in rolls]),
+                    faults=tuple(sorted((_one_fault(when, one, number, parts, fleet) for when, one in faults),
                                         key=lambda fault: fault.at_ms)), **made)  # type: ignore[arg-type]
 
 
+def _named(forms: list[Form], made: list[Named]) -> tuple[Named, ...]:
+    """All of them; no name is used twice."""
+    names: set[str] = set()
+    for form, one in zip(forms, made, strict=True):
+        if one.name in names:
+            raise _fault(form, f"{form.head} {one.name} is given twice")
+        names.add(one.name)
+    return tuple(made)
+
+
 def load(name: str) -> tuple[Scenario, str]:
     """A scenario by its shipped name or a file's path, and its text; raises TextError or OSError."""
     path = Path(name)
--- a/lab/text/sexpr.py
+++ b/lab/text/sexpr.py
@@ -11,7 +11,7 @@
 from lark.exceptions import UnexpectedInput
 
 MOST_TEXT = 1024 * 1024
-NUMBER = re.compile(r"(\d+(?:\.\d+)?)(u/s|ms|min|s|%|x|u|/s)?")
+NUMBER = re.compile(r"(-?\d+(?:\.\d+)?)(u/s|ms|min|s|%|x|u|/s)?")
 # Each unit: what it measures, and its size in the laboratory's own (ms, units a second, parts of one).
 UNITS = {"ms": ("time", 1.0), "s": ("time", 1000.0), "min": ("time", 60_000.0), "%": ("part", 0.01),
          "x": ("times", 1.0), "u": ("units", 1.0), "/s": ("rate", 1.0), "u/s": ("rate", 1.0),
