Keep small promises and units owed in a group's state, each call's id once

What a gateway holds for others has to outlive it. A group's log is applied to parts that are hung in by name; the state keeps the group's own time and the last 8192 ids with their answers, so that a repeat is answered as the first time. Units owed are claimed through the log before the counter is called: an unknown answer errs to missing once, never to twice.

--- /dev/null
+++ b/fleet/owed.py
@@ -0,0 +1,149 @@
+"""Units that a gateway owes the quota counter, in batches that outlive it.
+
+A gateway that cannot reach the counter hands what it owes to the group, so that whoever is left can report it.  A batch
+is reported by one at a time: it is claimed through the log before the counter is called, and marked as told after.
+
+Which way an unknown answer errs: a batch whose reporter called the counter and heard nothing, or died behind its claim,
+is *not* told again.  Its units may be missing at the counter, never there twice: a customer may then be let through
+for one batch more, and is never refused for what it did not use.  The hard ceiling does not go by these reports.
+"""
+
+from __future__ import annotations
+
+from typing import Any, ClassVar
+
+import msgspec
+
+from fleet.errors import BadCall, Crowded, NotThere, WrongState
+from fleet.messages import Id
+from fleet.part import Applied, Command, View
+
+MOST = 4096  # batches in one group that are not told yet; more are refused, and stay with their gateway
+MOST_LINES = 512
+LATE_MS = 60_000.0  # the counter forgets a name after so long: a batch older than this is of no use
+
+
+class Line(msgspec.Struct, frozen=True, array_like=True):
+    """One call at the counter: a name, an amount, the life of a new name in ms."""
+
+    name: str
+    units: float
+    expire_ms: float
+
+
+class Owe(Command, frozen=True, kw_only=True):
+    """`by` owes these; `id` names the batch."""
+
+    tenant: str  # by which group it is kept
+    by: Id
+    lines: tuple[Line, ...]
+
+    def key(self) -> str:
+        return f"t:{self.tenant}"
+
+    def fault(self) -> str:
+        if not 0 < len(self.lines) <= MOST_LINES:
+            return f"lines: expected 1 to {MOST_LINES}"
+        return next((f"lines: {line.name!r}: amount or life is out of bounds" for line in self.lines
+                     if not (0 < len(line.name) <= 64 and abs(line.units) <= 1e9 and line.expire_ms >= 1)), "")
+
+
+class Claim(Command, frozen=True, kw_only=True):
+    """`by` is going to report a batch; the answer holds its lines, once."""
+
+    tenant: str
+    batch: str
+    by: Id
+
+    def key(self) -> str:
+        return f"t:{self.tenant}"
+
+
+class OwedTold(Command, frozen=True, kw_only=True):
+    """The counter has a batch, or `known` is false: nobody knows, and it is not told again."""
+
+    tenant: str
+    batch: str
+    by: Id
+    known: bool
+
+    def key(self) -> str:
+        return f"t:{self.tenant}"
+
+
+class OwedRead(Command, frozen=True, kw_only=True):
+    """Batches that nobody has claimed, oldest first."""
+
+    reads: ClassVar[bool] = True
+    tenant: str
+
+    def key(self) -> str:
+        return f"t:{self.tenant}"
+
+
+COMMANDS: tuple[type[Command], ...] = (Owe, Claim, OwedTold, OwedRead)
+
+
+class Owed:
+    """The part of a group's state that holds the batches."""
+
+    def __init__(self) -> None:
+        self._batches: dict[str, tuple[float, str, Id, tuple[Line, ...], Id]] = {}  # since, tenant, by, lines, claimer
+        self.unknown = 0.0  # units of which nobody knows whether the counter has them
+
+    def apply(self, at_ms: float, command: Command) -> Applied:
+        """Take a batch in, give one out, or close one."""
+        for name, batch in list(self._batches.items()):
+            if at_ms - batch[0] <= LATE_MS:
+                break  # they lie in the order of their coming
+            self._close(name, False)
+        match command:
+            case Owe():
+                if len(self._batches) >= MOST:
+                    return Applied(error=Crowded(command.id, f"{MOST} batches wait already"))
+                self._batches[command.id] = at_ms, command.tenant, command.by, command.lines, ""
+                return Applied(True)
+            case Claim():
+                found = self._batches.get(command.batch)
+                if found is None:
+                    return Applied(error=NotThere(command.batch, "no such batch waits"))
+                if found[4]:
+                    return Applied(error=WrongState(command.batch, f"{found[4]} reports it"))
+                self._batches[command.batch] = (*found[:4], command.by)
+                return Applied([[line.name, line.units, line.expire_ms] for line in found[3]])
+            case OwedTold():
+                found = self._batches.get(command.batch)
+                if found is None or found[4] != command.by:
+                    return Applied(error=NotThere(command.batch, f"{command.by} does not report it"))
+                self._close(command.batch, command.known)
+                return Applied(True)
+        return Applied(error=BadCall(command.id, "not a call for what is owed"))
+
+    def _close(self, name: str, known: bool) -> None:
+        batch = self._batches.pop(name)
+        if not known:
+            self.unknown += sum(line.units for line in batch[3])
+
+    def look(self, command: OwedRead) -> Applied:
+        """Read what waits."""
+        return Applied([name for name, batch in self._batches.items() if not batch[4] and batch[1] == command.tenant])
+
+    def work(self, view: View) -> list[Command]:
+        """A claimer that is dead for good: its batch is closed as unknown."""
+        return [OwedTold(id=f"owed/{name}/lost", tenant=batch[1], batch=name, by=batch[4], known=False)
+                for name, batch in self._batches.items()
+                if batch[4] and view.dead_for.get(batch[4], 0.0) >= view.timings.repair_after_ms]
+
+    def seen(self, now: float) -> None:
+        """Nothing in here ends by this machine's clock."""
+
+    def dump(self) -> Any:
+        """Plain data."""
+        return [self.unknown, [[name, since, tenant, by, [[line.name, line.units, line.expire_ms] for line in lines],
+                                claimer] for name, (since, tenant, by, lines, claimer) in self._batches.items()]]
+
+    def load(self, raw: Any) -> None:
+        """From `dump`."""
+        self.unknown, batches = raw
+        self._batches = {name: (since, tenant, by, tuple(Line(*line) for line in lines), claimer)
+                         for name, since, tenant, by, lines, claimer in batches}
--- a/fleet/part.py
+++ b/fleet/part.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import Any, Protocol
+from typing import Any, ClassVar, Protocol
 
 import msgspec
 
@@ -21,6 +21,9 @@
 class Command(msgspec.Struct, frozen=True, tag=True, kw_only=True):
     """One entry's content.  The same `id` again is answered as the first time and changes nothing."""
 
+    reads: ClassVar[bool] = False  # changes nothing: answered by `Part.look` once the leader knows that it leads
+    once: ClassVar[bool] = True  # its id and answer are kept; not for those that state their own order (leases)
+
     id: str
 
     def key(self) -> str:
--- /dev/null
+++ b/fleet/state.py
@@ -0,0 +1,143 @@
+"""What a group's log is applied to: its parts, the group's own time, and which ids were taken.
+
+The fleet's own group holds admission, who copies what, and rolls; every other group holds what hashing gives it:
+floors of tenants, connections of servers, promises, units owed.
+"""
+
+from __future__ import annotations
+
+import zlib
+from collections.abc import Callable
+from functools import reduce
+from operator import or_
+from typing import Any
+
+import msgspec
+
+from fleet import owed, promises
+from fleet.errors import BadCall, TakenId
+from fleet.invariants import Invariants, Rule
+from fleet.part import FLEET, Applied, Command, View
+from fleet.timings import Timings
+
+MOST_IDS = 8192  # of calls that are remembered with their answers; the oldest goes first, and then a repeat is new
+MOST_BODY = 256 * 1024
+
+
+class Registry:
+    """Which part takes which command, in the fleet's own group and in the others."""
+
+    def __init__(self) -> None:
+        self.commands: dict[str, type[Command]] = {}
+        self.own: dict[str, Callable[[Timings, Invariants], Any]] = {}
+        self.others: dict[str, Callable[[Timings, Invariants], Any]] = {}
+        self.part_of: dict[type[Command], str] = {}
+
+    def add(self, name: str, commands: tuple[type[Command], ...],
+            make: Callable[[Timings, Invariants], Any], own: bool) -> None:
+        """Hang in a part under a name that snapshots go by."""
+        (self.own if own else self.others)[name] = make
+        for command in commands:
+            self.commands[command.__name__] = command
+            self.part_of[command] = name
+
+
+REGISTRY = Registry()
+REGISTRY.add("promises", promises.COMMANDS, lambda timings, rules: promises.Promises(), False)
+REGISTRY.add("owed", owed.COMMANDS, lambda timings, rules: owed.Owed(), False)
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder: Any = None
+
+
+def encode(at_ms: float, command: Command) -> bytes:
+    """An entry's body: the leader's time, Unix ms, and the command."""
+    return _encoder.encode([at_ms, command])
+
+
+def decode(body: bytes) -> tuple[float, Command]:
+    """The reverse; raises msgspec.DecodeError."""
+    global _decoder
+    if _decoder is None:
+        union: Any = reduce(or_, REGISTRY.commands.values())
+        _decoder = msgspec.msgpack.Decoder(tuple[float, union])
+    made: tuple[float, Command] = _decoder.decode(body)
+    return made
+
+
+def command_from(name: str, fields: dict[str, Any]) -> Command | BadCall:
+    """A command from an operator's words, checked."""
+    kind = REGISTRY.commands.get(name)
+    if kind is None:
+        return BadCall(name[:64], f"unknown; known are {', '.join(sorted(REGISTRY.commands))}")
+    try:
+        made = msgspec.convert(fields, kind)
+    except msgspec.ValidationError as fault:
+        return BadCall(name, str(fault).replace("`", ""))
+    problem = made.fault()
+    return BadCall(name, problem) if problem else made
+
+
+class GroupState:
+    """One group's state, as a replica's machine."""
+
+    def __init__(self, group: str, timings: Timings, rules: Invariants) -> None:
+        self.group, self._rules = group, rules
+        made = REGISTRY.own if group == FLEET else REGISTRY.others
+        self.parts: dict[str, Any] = {name: make(timings, rules) for name, make in made.items()}
+        self.at_ms = 0.0  # the group's own time, Unix ms
+        self.index = 0
+        self._ids: dict[str, tuple[int, bytes]] = {}  # of the command, and its answer
+
+    def apply(self, now: float, index: int, body: bytes) -> Applied:
+        """One entry.  Never raises but for a broken invariant."""
+        self._rules.check(Rule.APPLIED_ONCE, index > self.index, lambda: f"{self.group}: {index} after {self.index}")
+        self.index = index
+        try:
+            at_ms, command = decode(body)
+        except msgspec.DecodeError as fault:
+            return Applied(error=BadCall(self.group, f"an entry that cannot be read: {fault}"))
+        self.at_ms = max(self.at_ms, at_ms)
+        crc = zlib.crc32(_encoder.encode(command))
+        if command.once and (known := self._ids.get(command.id)) is not None:
+            if known[0] != crc:
+                return Applied(error=TakenId(command.id, "another call has it"))
+            return msgspec.msgpack.decode(known[1], type=Applied)
+        part = self.parts.get(REGISTRY.part_of[type(command)])
+        if part is None:
+            return Applied(error=BadCall(command.id, f"{type(command).__name__} is not for group {self.group}"))
+        result: Applied = part.apply(self.at_ms, command)
+        part.seen(now)
+        if command.once and result.error is None:  # what was refused changed nothing, and may be asked again
+            if len(self._ids) >= MOST_IDS:
+                del self._ids[next(iter(self._ids))]
+            self._rules.check(Rule.ID_ONCE, command.id not in self._ids, lambda: command.id)
+            self._ids[command.id] = crc, _encoder.encode(result)
+        return result
+
+    def look(self, command: Command) -> Applied:
+        """Answer a command that only reads."""
+        part = self.parts.get(REGISTRY.part_of[type(command)])
+        if part is None or not command.reads:
+            return Applied(error=BadCall(command.id, f"{type(command).__name__} is not for group {self.group}"))
+        found: Applied = part.look(command)
+        return found
+
+    def work(self, view: View) -> list[Command]:
+        """What the leader has to propose now."""
+        return [command for part in self.parts.values() for command in part.work(view)]
+
+    def dump(self) -> bytes:
+        """A snapshot."""
+        return _encoder.encode([self.at_ms, self.index, [[name, *known] for name, known in self._ids.items()],
+                                {name: part.dump() for name, part in self.parts.items()}])
+
+    def restore(self, now: float, body: bytes) -> None:
+        """From a snapshot."""
+        at_ms, index, ids, parts = msgspec.msgpack.decode(body)
+        self.at_ms, self.index = at_ms, index
+        self._ids = {name: (crc, answer) for name, crc, answer in ids}
+        for name, part in self.parts.items():
+            if name in parts:
+                part.load(parts[name])
+                part.seen(now)
