--- /dev/null
+++ b/lab/fleet/checker.py
@@ -0,0 +1,133 @@
+"""The referee of a fleet's promises: it believes only the calls that it saw, the messages on the network, and the disks.
+
+A promise swaps a register: the answer is the value before.  Each value is written once, so the history of a key has to
+be linear (Wing and Gong, "Testing and verifying concurrent objects", 1993, with Lowe's memory of what was tried): every
+answered call takes effect at one moment between its first invocation and its answer, one of unknown outcome at some
+moment or never, and one that was refused never.  A key whose search passes `MOST_STEPS` is told as undecided, which is
+not good.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+
+MOST_STEPS = 200_000
+
+
+@dataclass(slots=True)
+class Op:
+    """One call with all its repeats.  `returned` is math.inf and `fate` "unknown" until it is answered."""
+
+    key: str
+    id: str
+    value: str | None  # None: a read
+    invoked: float
+    returned: float = math.inf
+    fate: str = "unknown"  # "answered", "refused" (never taken) or "unknown"
+    result: str | None = None
+    through: str = ""  # the last member that was asked
+
+
+@dataclass(frozen=True, slots=True)
+class Finding:
+    """What is wrong, by a name that stays: a Rule's, or one of the referee's own."""
+
+    name: str
+    facts: str
+    at_ms: float = 0.0
+
+
+@dataclass(slots=True)
+class Verdict:
+    """What a history comes to."""
+
+    acknowledged: int = 0
+    lost: int = 0
+    twice: int = 0
+    findings: list[Finding] = field(default_factory=list)
+
+
+def linear(ops: list[Op], first: str | None = None) -> bool | None:
+    """Whether the calls of one key can be put in an order that explains every answer; None: undecided."""
+    seen = {op.result for op in ops if op.fate == "answered"}
+    # An unanswered write that nobody saw may have been no write at all, and an unanswered read says nothing.
+    todo = sorted((op for op in ops if op.fate == "answered" or (
+        op.fate == "unknown" and op.value is not None and op.value in seen)), key=lambda op: op.invoked)
+    count = len(todo)
+    must = sum(1 << at for at, op in enumerate(todo) if op.fate == "answered")
+    tried: set[tuple[int, str | None]] = set()
+    stack: list[tuple[int, str | None]] = [(0, first)]
+    steps = 0
+    while stack:
+        done, value = stack.pop()
+        if done & must == must:
+            return True
+        if (done, value) in tried:
+            continue
+        tried.add((done, value))
+        steps += 1
+        if steps > MOST_STEPS:
+            return None
+        end = math.inf  # nothing invoked behind the first answer that is still to be explained can come next
+        for at in range(count):
+            if done >> at & 1:
+                continue
+            op = todo[at]
+            if op.invoked > end:
+                break
+            end = min(end, op.returned)
+        for at in range(count - 1, -1, -1):
+            op = todo[at]
+            if done >> at & 1 or op.invoked > end or (op.fate == "answered" and op.result != value):
+                continue
+            stack.append((done | 1 << at, value if op.value is None else op.value))
+    return False
+
+
+def judge(ops: list[Op]) -> Verdict:
+    """The whole history, the reads at the end among it, key by key."""
+    made = Verdict()
+    keys: dict[str, list[Op]] = {}
+    for op in ops:
+        keys.setdefault(op.key, []).append(op)
+    for key, mine in keys.items():
+        writes = [op for op in mine if op.value is not None]
+        made.acknowledged += sum(op.fate == "answered" for op in writes)
+        before = [op.result for op in writes if op.fate == "answered"]
+        read = {op.result for op in mine if op.value is None and op.fate == "answered"}
+        known = {op.value: op for op in writes}
+        for value in sorted({one for one in (*before, *read) if one is not None}):
+            if value not in known:
+                made.findings.append(Finding("made-up", f"{key}: {value!r} was never written"))
+            elif known[value].fate == "refused":
+                made.findings.append(Finding("refused-but-taken", f"{key}: {value!r} ({known[value].id})"))
+        twice = len(before) - len(set(before))
+        if twice:
+            made.twice += twice
+            made.findings.append(Finding("twice", f"{key}: {twice} values stood before two writes each"))
+        if linear(mine) is True:
+            continue
+        gone = _gone(mine)
+        made.lost += gone
+        made.findings.append(Finding("lost" if gone else "not-linear", f"{key}: {_tail(mine)}"))
+        if not gone and not twice:
+            made.lost += 1  # an answer that no order explains: something told is not so
+    return made
+
+
+def _gone(ops: list[Op]) -> int:
+    """Acknowledged writes that no write took the place of and no last read shows, at the least."""
+    before = {op.result for op in ops if op.value is not None and op.fate == "answered"}
+    last = max((op.invoked for op in ops if op.value is None and op.fate == "answered"), default=math.inf)
+    final = {op.result for op in ops if op.value is None and op.fate == "answered" and op.invoked == last}
+    open_ones = sum(op.fate == "unknown" and op.value is not None for op in ops)
+    left = [op for op in ops if op.value is not None and op.fate == "answered"
+            and op.value not in before and op.value not in final]
+    return max(len(left) - open_ones, 0) if final else 0
+
+
+def _tail(ops: list[Op], most: int = 14) -> str:
+    told = sorted(ops, key=lambda op: op.invoked)[-most:]
+    return "; ".join(f"{'read' if op.value is None else 'put ' + op.value} {op.invoked:.0f}..{op.returned:.0f} "
+                     f"{op.fate} {op.result}" for op in told)
--- /dev/null
+++ b/lab/fleet/disk.py
@@ -0,0 +1,134 @@
+"""A member's simulated store: what is asked for becomes durable with the next fsync, and a crash loses the rest.
+
+One fsync is under way at a time and takes all that was asked before it began.  At a crash a prefix of what was under
+way may have come through.  A wiped or damaged store begins anew with another incarnation, as the product's does; a full
+one breaks.  Bounds: none of its own; what is asked is what the nodes ask.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+from fleet.errors import StoreFailed
+from fleet.events import Entries, Forget, HardState, NodeEvent, Record, Saved, Snapshot, Store, StoreBroke, Stored
+from fleet.messages import Entry
+from lab.fleet.network import Calendar
+
+
+@dataclass(slots=True)
+class Kept:
+    """What is durable of one group."""
+
+    term: int = 0
+    vote: str = ""
+    snapshot: Snapshot | None = None
+    entries: list[Entry] = field(default_factory=list)
+
+    @property
+    def last(self) -> int:
+        """The last index."""
+        if self.entries:
+            return self.entries[-1].index
+        return self.snapshot.index if self.snapshot else 0
+
+    @property
+    def last_term(self) -> int:
+        """Its term."""
+        if self.entries:
+            return self.entries[-1].term
+        return self.snapshot.term if self.snapshot else 0
+
+    def at(self, index: int) -> Entry | None:
+        """The entry there, where it has not gone into the snapshot."""
+        if not self.entries or not self.entries[0].index <= index <= self.entries[-1].index:
+            return None
+        return self.entries[index - self.entries[0].index]
+
+    def take(self, record: Record) -> None:
+        """Make a record of this group durable."""
+        if isinstance(record, Entries):
+            if record.entries:
+                first = record.entries[0].index
+                held = self.entries
+                if held and first <= held[-1].index:
+                    del held[max(first - held[0].index, 0):]
+                held.extend(record.entries)
+        elif isinstance(record, HardState):
+            self.term, self.vote = record.term, record.vote
+        elif isinstance(record, Snapshot):
+            self.snapshot = record
+            matches = self.at(record.index)
+            # A log that goes on from the snapshot keeps its tail; another's tail goes with what lay before.
+            keep = matches is not None and matches.term == record.term
+            self.entries = [entry for entry in self.entries if entry.index > record.index] if keep else []
+
+
+class Disk:
+    """One machine's.  `tell(life, event)` gives the process of that life what came of a Store."""
+
+    def __init__(self, calendar: Calendar, draw: Random, tell: Callable[[int, NodeEvent], None]) -> None:
+        self._calendar, self._draw, self._tell = calendar, draw, tell
+        self.fsync_ms = (0.5, 3.0)
+        self.full = False
+        self.groups: dict[str, Kept] = {}
+        self.incarnation = self._drawn()
+        self.syncs = 0
+        self._life = 0  # of the process that writes
+        self._asked: list[Store] = []
+        self._under_way: list[Store] = []
+
+    def _drawn(self) -> str:
+        return f"{self._draw.getrandbits(32):08x}"
+
+    def start(self, life: int) -> dict[str, Saved]:
+        """A process opens it."""
+        self._life = life
+        return {name: Saved(kept.term, kept.vote, kept.snapshot, tuple(kept.entries))
+                for name, kept in sorted(self.groups.items())}
+
+    def put(self, store: Store) -> None:
+        """The running process wants this on stable storage."""
+        if self.full:
+            self._calendar.at(self._calendar.now + 0.1, self._tell, self._life,
+                              StoreBroke(StoreFailed(store.group, "no space left on device")))
+            return
+        self._asked.append(store)
+        if not self._under_way:
+            self._sync()
+
+    def _sync(self) -> None:
+        self._under_way, self._asked = self._asked, []
+        self.syncs += 1
+        self._calendar.at(self._calendar.now + self._draw.uniform(*self.fsync_ms), self._synced, self._life)
+
+    def _synced(self, life: int) -> None:
+        if life != self._life:
+            return
+        done, self._under_way = self._under_way, []
+        for store in done:
+            self._write(store)
+        if self._asked:
+            self._sync()
+        for store in done:
+            self._tell(life, Stored(store.group, store.seq))
+
+    def _write(self, store: Store) -> None:
+        for record in store.records:
+            if isinstance(record, Forget):
+                self.groups.pop(store.group, None)
+            else:
+                self.groups.setdefault(store.group, Kept()).take(record)
+
+    def crash(self) -> None:
+        """The process is gone; a prefix of what was under way may be durable."""
+        for store in self._under_way[:self._draw.randint(0, len(self._under_way))]:
+            self._write(store)
+        self._asked, self._under_way = [], []
+        self._life = -1
+
+    def wipe(self) -> None:
+        """The machine is lost with its disk, or the store reads as damaged: another store, another incarnation."""
+        self.groups, self.full = {}, False
+        self.incarnation = self._drawn()
