--- a/lab/result.py
+++ b/lab/result.py
@@ -68,7 +68,7 @@
                              plan.ceiling_rate, plan.ceiling_burst, plan.slack) for plan in scenario.plans),
         has_counter=True,
         counter_timeout_ms=scenario.counter_timeout_ms,
-        max_units=float(max(crowd.units[1] for crowd in scenario.crowds)), max_attempts=3,
+        max_units=float(max((crowd.units[1] for crowd in scenario.crowds), default=1)), max_attempts=3,
         can_cancel=True, max_retry_after_ms=1000.0,
         answer_slack_ms=16.0, cold_from=0.16,
         warm_within_ms=14_000.0, fall_multiple=3.0,
--- a/lab/stage/process.py
+++ b/lab/stage/process.py
@@ -5,7 +5,11 @@
 import asyncio
 import json
 import os
+import random
 import re
+import resource
+import shutil
+import signal
 import sys
 from collections.abc import Callable
 from pathlib import Path
@@ -14,6 +18,7 @@
 from lab.text.scenario import Scenario
 
 ROOT = Path(__file__).resolve().parent.parent.parent
+STORE = "fleet"  # folder of what a gateway holds for the fleet
 BELIEF = re.compile(r"counter believed (\w+): ([^\[]*?)(?:, gateways (\[.*\]))?$")
 
 
@@ -29,7 +34,8 @@
                        "hard_rate": plan.ceiling_rate, "cap_depth": plan.ceiling_burst,
                        "tolerance": plan.slack} for plan in scenario.plans],
         "family_info": {"has_counter": True, "counter_timeout_ms": scenario.counter_timeout_ms,
-                        "max_units": max(crowd.units[1] for crowd in scenario.crowds), "trued_up": True},
+                        "max_units": max((crowd.units[1] for crowd in scenario.crowds), default=1),
+                        "trued_up": True},
         "feedback": {"fields": ["lat_ms", "rif"], "how": "answers"},
         "policy_limits": {"try_limit": 3, "cancelling": True, "probes": False, "retry_after": True,
                           "max_retry_after_ms": 1000.0, "dial_timeout_ms": 250.0, "conn_idle_ms": 30_000.0},
@@ -41,12 +47,15 @@
     """One gateway and what it says."""
 
     def __init__(self, scenario: Scenario, me: int, folder: Path, listen: tuple[str, int], agent: int,
-                 counter: int, known: bytes, said: Callable[[int, str], None]) -> None:
+                 counter: int, known: bytes, said: Callable[[int, str], None], mgmt: str = "",
+                 fleet: str = "") -> None:
         self.me, self._said = me, said
         self._folder = folder / f"gateway-{me + 1}"
         (self._folder / "deploy").mkdir(parents=True, exist_ok=True)
         watch = "true" if scenario.watch else "false"
-        (self._folder / "deploy" / "badgeryoke.toml").write_text(f"[counter_watch]\nenabled = {watch}\n")
+        (self._folder / "deploy" / "badgeryoke.toml").write_text(f"[counter_watch]\nenabled = {watch}\n{fleet}")
+        self.store = self._folder / STORE
+        self._mgmt = mgmt
         self._config = self._folder / "config.json"
         self._listen, self._agent = f"{listen[0]}:{listen[1]}", f"127.0.0.1:{agent}"
         self._config.write_text(json.dumps({
@@ -62,6 +71,8 @@
         """Start it; what it writes is read as it comes."""
         environ = dict(os.environ, LB_CONFIG=str(self._config), LB_NAME=f"g{self.me + 1}",
                        LB_LISTEN=self._listen, LB_DISCOVERY=self._agent)
+        if self._mgmt:
+            environ["LB_MGMT"] = self._mgmt
         environ["PYTHONPATH"] = os.pathsep.join(filter(None, [str(ROOT), environ.get("PYTHONPATH", "")]))
         self.process = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "badgeryoke", cwd=self._folder, env=environ,
@@ -85,6 +96,40 @@
             found = re.search(r"VmHWM:\s+(\d+)", status)
             self.peak_kb = max(self.peak_kb, int(found.group(1)) if found else 0)
 
+    @property
+    def running(self) -> bool:
+        """Whether there is a process, frozen or not."""
+        return self.process is not None and self.process.returncode is None
+
+    def freeze(self, on: bool) -> None:
+        """SIGSTOP or SIGCONT."""
+        if self.process is not None and self.running:
+            self.process.send_signal(signal.SIGSTOP if on else signal.SIGCONT)
+
+    def fill(self, on: bool) -> None:
+        """No file of its own grows any more, as on a full disk; or there is room again."""
+        if self.process is not None and self.running:
+            _, hard = resource.prlimit(self.process.pid, resource.RLIMIT_FSIZE)
+            resource.prlimit(self.process.pid, resource.RLIMIT_FSIZE, (0 if on else hard, hard))
+
+    def wipe(self) -> None:
+        """Its store is gone with its disk."""
+        shutil.rmtree(self.store, ignore_errors=True)
+
+    def spoil(self, rng: random.Random) -> bool:
+        """Flip one bit in the middle half of the largest file of its store; False where there is nothing."""
+        files = sorted((path for path in self.store.rglob("*") if path.is_file()), key=lambda path: path.stat().st_size)
+        if not files or files[-1].stat().st_size < 16:
+            return False
+        with files[-1].open("r+b") as file:
+            size = files[-1].stat().st_size
+            at = rng.randrange(size // 4, size - size // 4)
+            file.seek(at)
+            byte = file.read(1)[0]
+            file.seek(at)
+            file.write(bytes([byte ^ 1 << rng.randrange(8)]))
+        return True
+
     async def kill(self) -> None:
         """SIGKILL, to this process alone, by its id."""
         if self.process is not None and self.process.returncode is None:
@@ -95,6 +140,7 @@
         """SIGTERM; SIGKILL where it has not ended in time."""
         if self.process is None or self.process.returncode is not None:
             return
+        self.freeze(False)
         self.process.terminate()
         try:
             await asyncio.wait_for(self.process.wait(), 6.0)
--- a/lab/stage/servers.py
+++ b/lab/stage/servers.py
@@ -30,6 +30,8 @@
         self._started = 0.0
         self._cold = cold
         self.ports: dict[int, int] = {}  # by gateway
+        self.open_links: dict[int, int] = {}  # connections, by gateway
+        self.most_open = 0  # connections at one time, over all gateways
         self._listeners: list[asyncio.Server] = []
 
     async def open(self, gateways: int) -> None:
@@ -88,6 +90,14 @@
         super().__init__()
         self._owner, self._gateway = owner, gateway
 
+    def begun(self) -> None:
+        held = self._owner.open_links
+        held[self._gateway] = held.get(self._gateway, 0) + 1
+        self._owner.most_open = max(self._owner.most_open, sum(held.values()))
+
+    def ended(self) -> None:
+        self._owner.open_links[self._gateway] -= 1
+
     def got(self, value: object) -> None:
         if isinstance(value, list):
             self._owner.take(self, self._gateway, value)
--- a/lab/text/scenario.py
+++ b/lab/text/scenario.py
@@ -227,10 +227,10 @@
 
 
 FAULTS = ("kill", "start", "freeze", "thaw", "slow", "split", "heal", "swap", "restore", "spoil", "spike", "cut",
-          "delay", "reset", "mend", "lose", "step")
+          "delay", "reset", "narrow", "mend", "lose", "step", "fill", "empty")
 PLAIN = ("kill", "start")  # what can be done to a gateway without a fleet
-TO_GATEWAY = (*PLAIN, "lose", "freeze", "thaw", "spoil", "step")
-TO_GATEWAYS = ("cut", "delay", "reset", "mend")
+TO_GATEWAY = (*PLAIN, "lose", "freeze", "thaw", "spoil", "step", "fill", "empty")  # the last two: its disk
+TO_GATEWAYS = ("cut", "delay", "reset", "narrow", "mend")
 COPIES = (1, 3, 5)
 Named = TypeVar("Named", ContractText, RollText)
 
@@ -321,8 +321,10 @@
         return replace(_ended(form, made, 5 if rest else 4), groups=groups, mode=mode)
     if form.head == "delay":
         amount = _quantity(form, 4, "time", 0.0, 60_000.0).least
+    elif form.head == "narrow":  # to so many bytes a second
+        amount = _quantity(form, 4, "rate", 1.0).least
     else:
-        amount = _quantity(form, 4, "rate", 0.0, 1000.0).least
+        amount = _quantity(form, 4, "rate", 0.001, 1000.0).least
     return replace(_ended(form, made, 5), groups=groups, amount=amount)
 
 
@@ -352,7 +354,7 @@
             amount = _quantity(form, 3, "time", -1e9).least
             return replace(_ended(form, made, 4), groups=((number,),), amount=amount)
         return replace(_ended(form, made, 3), groups=((number,),))
-    if form.head in (*TO_GATEWAYS, "lose", "step"):
+    if form.head in (*TO_GATEWAYS, "lose", "step", "fill", "empty"):
         raise _fault(form, f"{form.head} cannot be done to {target}; it is done to "
                            f"{'gateways' if form.head in TO_GATEWAYS else 'a gateway'}")
     if target == "customers":
