--- /dev/null
+++ b/lab/fleet/world.py
@@ -0,0 +1,571 @@
+"""A fleet in simulated time: the product's nodes on simulated links, clocks and stores, under a random load.
+
+Nothing reads a clock and all chance comes from the seed, each part from a Random of its own: the same plan gives the
+same bytes, in whatever process.  The referee sees the calls, each message on its way and what is durable on each disk;
+it asks no node what it believes.
+"""
+
+from __future__ import annotations
+
+import math
+import traceback
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field, replace
+from functools import partial
+from random import Random
+from typing import Any
+
+import msgspec
+
+from fleet.errors import FleetError
+from fleet.events import Call, Done, Effect, NodeEvent, Received, Saved, Say, Send, Store, Tick
+from fleet.invariants import Broken, Invariants
+from fleet.messages import (
+    CONFIG,
+    AnyMessage,
+    Append,
+    Appended,
+    Config,
+    Piece,
+    Vote,
+    name_of,
+)
+from fleet.node import FOUNDING, Member, Node, Setup
+from fleet.part import Applied, Command
+from fleet.promises import Promise, PromiseRead
+from fleet.timings import Timings
+from lab.fleet.checker import Finding, Op, Verdict, judge
+from lab.fleet.clock import Clock
+from lab.fleet.disk import Disk, Kept
+from lab.fleet.faults import Plan
+from lab.fleet.figures import FleetFigures
+from lab.fleet.network import Calendar, Network
+from lab.text.scenario import Fault
+
+MOST_INBOX = 4096  # events that wait for a frozen process; further ones are lost, as a full socket's are
+CLIENT_MS = 500.0  # that a client waits beyond the call's own time
+MOST_TRIES = 8
+LOOK_MS = 50.0
+SETTLE_MS = 40_000.0  # within which a mended fleet has to answer again
+NodeType = Callable[[Setup, dict[str, Saved], Random, float, float, Invariants], Node]
+
+
+@dataclass(slots=True)
+class Machine:
+    """One gateway's machine.  `life` counts its processes."""
+
+    name: str
+    hall: str
+    clock: Clock
+    disk: Disk
+    setup: Setup
+    node: Node | None = None
+    life: int = 0
+    frozen: bool = False
+    inbox: list[NodeEvent] = field(default_factory=list)
+    tick_at: float = math.inf
+    waits: dict[str, Callable[[Any], None]] = field(default_factory=dict)  # calls under way, by token
+
+    @property
+    def id(self) -> str:
+        """As it is now."""
+        return self.setup.id
+
+    @property
+    def up(self) -> bool:
+        """Whether it runs and is not frozen."""
+        return self.node is not None and not self.frozen
+
+
+class FleetWorld:
+    """One run of a plan."""
+
+    def __init__(self, plan: Plan, node_type: NodeType = Node) -> None:
+        self.plan, self._node_type = plan, node_type
+        seed = f"fleet/{plan.seed}"
+        self.calendar = Calendar()
+        self.network = Network(self.calendar, Random(f"{seed}/links"), self._arrive)
+        self.draw = Random(f"{seed}/load")
+        self._nodes_draw = Random(f"{seed}/nodes")
+        disks, clocks = Random(f"{seed}/disks"), Random(f"{seed}/clocks")
+        self.timings = Timings(snapshot_entries=plan.snapshot_entries)
+        names = [f"g{number}" for number in range(1, plan.members + 1)]
+        members = tuple(Member(name, f"hall-{'ab'[at % plan.halls]}") for at, name in enumerate(names))
+        self.machines: dict[str, Machine] = {}
+        for member in members:
+            half = plan.drift / 2.0
+            clock = Clock(1.0 + clocks.uniform(-half, half), clocks.uniform(1e5, 1e8), clocks.uniform(-2000.0, 2000.0))
+            disk = Disk(self.calendar, disks, partial(self._stored, member.name))
+            disk.fsync_ms = plan.fsync_ms
+            self.machines[member.name] = Machine(member.name, member.hall, clock, disk, Setup(
+                "lab", member.name, disk.incarnation, members, plan.copies, plan.groups, self.timings,
+                capacity=plan.contracts * 100.0,
+                servers={f"s{number + 1}": plan.connections for number in range(plan.servers)}))
+        self.findings: list[Finding] = []
+        self.over = False
+        self.ops: list[Op] = []
+        self.says: dict[str, int] = {}
+        self.calls = 0
+        self._open: dict[str, int] = {}  # calls under way for each key
+        self._leaders: dict[tuple[str, int], str] = {}
+        self._votes: dict[tuple[str, str, int], str] = {}
+        self.most_leaders = 1
+        self._commits: dict[str, int] = {}  # highest that a leader told, for each group
+        self._before: dict[str, int] = {}  # the same at the look before
+        self._loss_at = math.inf
+        self.restored_ms: float | None = None
+        self._silent: dict[str, float] = {}
+        self.unavailable_ms = 0.0
+        self.unreadable = 0
+        self._loading = True
+        self.unset = 0  # calls that never came to an end
+
+    # Processes ------------------------------------------------------------------------------------------
+
+    def start(self, name: str) -> None:
+        """Start a process on a machine where none runs."""
+        machine = self.machines[name]
+        if machine.node is not None:
+            return
+        machine.life += 1
+        machine.frozen, machine.inbox, machine.tick_at = False, [], math.inf
+        true = self.calendar.now
+        machine.clock.start(true)
+        now = machine.clock.now(true)
+        machine.setup = replace(machine.setup, incarnation=machine.disk.incarnation)
+        saved = machine.disk.start(machine.life)
+        try:
+            machine.node = self._node_type(machine.setup, saved, Random(self._nodes_draw.getrandbits(64)), now,
+                                           machine.clock.wall(now), Invariants())
+        except Broken as fault:
+            self._found(fault.rule.name, str(fault))
+            return
+        self._give(name, machine.life, [Tick()])
+
+    def kill(self, name: str) -> None:
+        """SIGKILL."""
+        machine = self.machines[name]
+        if machine.node is None:
+            return
+        machine.node = None
+        machine.life += 1
+        machine.frozen, machine.inbox = False, []
+        machine.disk.crash()
+        waits, machine.waits = machine.waits, {}
+        for done in waits.values():
+            done(None)
+
+    def freeze(self, name: str) -> None:
+        """SIGSTOP."""
+        machine = self.machines[name]
+        machine.frozen = machine.node is not None
+
+    def thaw(self, name: str) -> None:
+        """SIGCONT: what piled up comes at once."""
+        machine = self.machines[name]
+        if machine.frozen:
+            machine.frozen = False
+            events, machine.inbox, machine.tick_at = machine.inbox, [], math.inf
+            self._give(name, machine.life, [*events, Tick()])
+
+    def _stored(self, name: str, life: int, event: NodeEvent) -> None:
+        self._give(name, life, [event])
+
+    def _give(self, name: str, life: int, events: list[NodeEvent]) -> None:
+        machine = self.machines[name]
+        node = machine.node
+        if node is None or life != machine.life or self.over:
+            return
+        if machine.frozen:
+            machine.inbox += events[:max(MOST_INBOX - len(machine.inbox), 0)]
+            return
+        true = self.calendar.now
+        now = machine.clock.now(true)
+        wall = machine.clock.wall(now)
+        effects: list[Effect] = []
+        try:
+            for event in events:
+                effects += node.handle(now, wall, event)
+        except Broken as fault:
+            self._found(fault.rule.name, f"{name}: {fault}")
+            return
+        except Exception:
+            self._found("crash", f"{name}: {traceback.format_exc(limit=-6)}")
+            return
+        if effects:
+            self._carry_out(machine, effects)
+        due = max(machine.clock.true(node.due), true + 0.2)
+        if due < machine.tick_at:
+            machine.tick_at = due
+            self.calendar.at(due, self._tick, name, machine.life, due)
+
+    def _tick(self, name: str, life: int, due: float) -> None:
+        machine = self.machines[name]
+        if life != machine.life or machine.node is None or machine.tick_at != due:
+            return
+        machine.tick_at = math.inf
+        later = machine.clock.true(machine.node.due)
+        if later > self.calendar.now + 1e-3:
+            machine.tick_at = later
+            self.calendar.at(later, self._tick, name, life, later)
+        else:
+            self._give(name, life, [Tick()])
+
+    def _carry_out(self, machine: Machine, effects: list[Effect]) -> None:
+        sends: dict[str, list[AnyMessage]] = {}
+        for effect in effects:
+            if isinstance(effect, Send):
+                sends.setdefault(effect.to, []).append(effect.message)
+                self._saw(machine, effect.to, effect.message)
+            elif isinstance(effect, Store):
+                machine.disk.put(effect)
+            elif isinstance(effect, Done):
+                done = machine.waits.pop(effect.token, None)
+                if done is not None:
+                    done(effect.result)
+            elif isinstance(effect, Say):
+                self.says[effect.event] = self.says.get(effect.event, 0) + 1
+        for to, messages in sends.items():
+            self.network.send(machine.name, name_of(to), (machine.id, to, messages), messages)
+
+    def _arrive(self, sender: str, to: str, envelope: tuple[str, str, list[AnyMessage]]) -> None:
+        machine = self.machines.get(to)
+        who, meant, messages = envelope
+        if machine is None or machine.node is None or ("/" in meant and meant != machine.id):
+            return  # told to a member as it was before: the shell throws it away
+        self._give(to, machine.life, [Received(who, message) for message in messages])
+
+    # What the referee sees on the network and the disks ---------------------------------------------------
+
+    def _found(self, name: str, facts: str) -> None:
+        self.findings.append(Finding(name, facts, round(self.calendar.now, 3)))
+        self.over = True
+
+    def _saw(self, machine: Machine, to: str, message: AnyMessage) -> None:
+        kind = type(message)
+        if kind is Append or kind is Piece:
+            assert isinstance(message, Append | Piece)
+            at = message.group, message.term
+            leader = self._leaders.setdefault(at, machine.id)
+            if leader != machine.id:
+                self.most_leaders = max(self.most_leaders, 2)
+                self._found("two-leaders", f"{at}: {leader} and {machine.id}")
+            if isinstance(message, Append) and message.commit > self._commits.get(message.group, 0):
+                self._commits[message.group] = message.commit
+        elif kind is Vote:
+            assert isinstance(message, Vote)
+            if message.granted and not message.pre:
+                kept = machine.disk.groups.get(message.group, Kept())
+                if kept.term < message.term or (kept.term == message.term and kept.vote != to):
+                    self._found("vote-not-stored", f"{machine.id} for {to}: {message}; on disk term {kept.term}, "
+                                                   f"vote {kept.vote!r}")
+                whom = self._votes.setdefault((machine.name, message.group, message.term), to)
+                if whom != to:
+                    self._found("two-votes", f"{machine.name} in term {message.term} of {message.group}: "
+                                             f"{whom} and {to}")
+        elif kind is Appended:
+            assert isinstance(message, Appended)
+            if message.good and message.index:
+                kept = machine.disk.groups.get(message.group, Kept())
+                if kept.last < message.index:
+                    self._found("acknowledged-not-stored", f"{machine.id}: {message}; on disk up to {kept.last}")
+
+    def groups(self) -> list[str]:
+        """All that any disk knows, but the founding record's."""
+        return sorted({group for machine in self.machines.values() for group in machine.disk.groups
+                       if group != FOUNDING and machine.disk.groups[group].last})
+
+    def config(self, group: str) -> Config | None:
+        """The members of a group by the disks: those of the log that won last."""
+        best: tuple[int, int] = -1, -1
+        found: Config | None = None
+        for machine in self.machines.values():
+            kept = machine.disk.groups.get(group)
+            if kept is None or (kept.last_term, kept.last) <= best:
+                continue
+            config = config_of(kept)
+            if config is not None:
+                best, found = (kept.last_term, kept.last), config
+        return found
+
+    def whole(self) -> bool:
+        """Whether every group has all its copies, on machines that run, with all that was committed a while ago."""
+        groups = self.groups()
+        up = {machine.id for machine in self.machines.values() if machine.up}
+        ups = {name_of(one) for one in up}
+        for group in groups:
+            config = self.config(group)
+            if config is None or config.learners or not up.issuperset(config.voters):
+                return False
+            if len(config.voters) < min(self.plan.copies, len(ups)):
+                return False
+            for voter in config.voters:
+                kept = self.machines[name_of(voter)].disk.groups.get(group)
+                if kept is None or kept.last < self._before.get(group, 0):
+                    return False
+        return bool(groups)
+
+    def joined(self, names: Iterable[str]) -> set[str]:
+        """The most of these machines that run and all reach each other."""
+        up = [name for name in names if self.machines[name].up]
+        cuts = self.network.cuts
+        best: set[str] = set()
+        for first in up:
+            made = [first]
+            for other in up:
+                if other != first and not any((one, other) in cuts or (other, one) in cuts for one in made):
+                    made.append(other)
+            if len(made) > len(best):
+                best = set(made)
+        return best
+
+    def _look(self) -> None:
+        self._watch_copies()
+        if self._loading:
+            self._watch_silence()
+        self._before = dict(self._commits)
+        if not self.over:
+            self.calendar.at(self.calendar.now + LOOK_MS, self._look)
+
+    def _watch_copies(self) -> None:
+        if self._loss_at < math.inf and self.whole():
+            self.restored_ms = max(self.restored_ms or 0.0, self.calendar.now - self._loss_at)
+            self._loss_at = math.inf
+
+    def _watch_silence(self) -> None:
+        """Times without an answer, key by key, while a majority of all members is joined and somebody there asks."""
+        joined = self.joined(self.machines)
+        if len(joined) * 2 <= self.plan.members:
+            self._silent.clear()
+            return
+        for key, asked in self._open.items():
+            if asked:
+                self._silent[key] = self._silent.get(key, 0.0) + LOOK_MS
+                self.unavailable_ms = max(self.unavailable_ms, self._silent[key])
+
+    # Faults ---------------------------------------------------------------------------------------------
+
+    def happen(self, fault: Fault, since: float = -1.0) -> None:
+        """Do one."""
+        now = self.calendar.now
+        if fault.mode == "whole" and not self.whole():
+            since = now if since < 0 else since
+            if now - since < 20_000.0 and self._loading:
+                self.calendar.at(now + LOOK_MS, self.happen, fault, since)
+            return
+        if fault.target == "gateways":
+            self._links(fault)
+            return
+        name = f"g{fault.groups[0][0]}"
+        machine = self.machines[name]
+        match fault.word:
+            case "start":
+                self.start(name)
+            case "kill":
+                self.kill(name)
+            case "lose":
+                self.kill(name)
+                machine.disk.wipe()
+                self._loss_at = min(self._loss_at, now)
+            case "spoil":
+                if machine.node is None:
+                    machine.disk.wipe()
+                    self._loss_at = min(self._loss_at, now)
+            case "freeze":
+                self.freeze(name)
+            case "thaw":
+                self.thaw(name)
+            case "step":
+                machine.clock.step(fault.amount)
+            case "full":
+                machine.disk.full = fault.amount > 0
+            case "slow-disk":
+                low, high = self.plan.fsync_ms
+                machine.disk.fsync_ms = low + fault.amount / 2.0, high + fault.amount
+            case _:
+                raise ValueError(f"unknown fault {fault.word!r}")
+
+    def _links(self, fault: Fault) -> None:
+        network = self.network
+        sides = [[f"g{number}" for number in group] for group in fault.groups]
+        pairs = [(one, other) for at, side in enumerate(sides) for then in sides[at + 1:] for one in side
+                 for other in then]
+        if fault.mode != "one-way":
+            pairs += [(other, one) for one, other in pairs]
+        match fault.word:
+            case "cut":
+                network.cut(pairs)
+            case "delay":
+                network.delays.update(dict.fromkeys(pairs, fault.amount))
+            case "narrow":
+                network.narrow.update(dict.fromkeys(pairs, fault.amount))
+            case "reset":
+                network.reset_often(pairs, fault.amount)
+            case "loss":
+                network.loss = fault.amount
+            case "twice":
+                network.twice = fault.amount
+            case "mend":
+                network.mend()
+            case _:
+                raise ValueError(f"unknown fault {fault.word!r}")
+
+    # The load -------------------------------------------------------------------------------------------
+
+    def call(self, name: str, command: Command, done: Callable[[Any], None]) -> None:
+        """Hand a command to a member; `done` is given its result, or None where nobody knows."""
+        machine = self.machines[name]
+        if machine.node is None:
+            done(None)
+            return
+        self.calls += 1
+        token = f"c{self.calls}"
+        machine.waits[token] = done
+        self.calendar.at(self.calendar.now + self.timings.call_ms + CLIENT_MS, self._late, name, token)
+        self._give(name, machine.life, [Call(token, command)])
+
+    def _late(self, name: str, token: str) -> None:
+        done = self.machines[name].waits.pop(token, None)
+        if done is not None:
+            if self.machines[name].up and not self.over and self.calendar.now < self.plan.length_ms:
+                self.unset += 1
+            done(None)
+
+    def _load(self) -> None:
+        if not self._loading or self.over:
+            return
+        plan, draw = self.plan, self.draw
+        self.calendar.at(self.calendar.now + 1000.0 * draw.expovariate(plan.proposals), self._load)
+        up = [name for name, machine in self.machines.items() if machine.node is not None]
+        if not up:
+            return
+        number = len(self.ops) + 1
+        read = draw.random() < 0.25
+        op = Op(f"n{draw.randrange(plan.keys)}", f"o{number}", None if read else f"v{number}", self.calendar.now)
+        self.ops.append(op)
+        self._open[op.key] = self._open.get(op.key, 0) + 1
+        self._try(op, draw.choice(up), 1, False)
+
+    def _try(self, op: Op, name: str, tries: int, unknown: bool) -> None:
+        command: Command = (PromiseRead(id=f"{op.id}.{tries}", name=op.key) if op.value is None
+                            else Promise(id=op.id, name=op.key, value=op.value))
+        op.through = name
+        self.call(name, command, lambda result: self._answered(op, name, tries, unknown, result))
+
+    def _answered(self, op: Op, name: str, tries: int, unknown: bool, result: Any) -> None:
+        if isinstance(result, Applied) and result.error is None:
+            if op.fate == "answered":  # a repeat: told as the first time
+                if result.value != op.result:
+                    self._found("twice", f"{op.key}: {op.id} was answered {op.result!r}, then {result.value!r}")
+                return
+            op.fate, op.result, op.returned = "answered", result.value, self.calendar.now
+            self._silent[op.key] = 0.0
+            self._end(op)
+            if op.value is not None and self.draw.random() < 0.1:
+                self.calendar.at(self.calendar.now + self.draw.uniform(0.0, 1500.0), self._again, op, tries)
+            return
+        if op.fate == "answered":
+            return
+        error = result.error if isinstance(result, Applied) else result
+        unknown = unknown or not isinstance(error, FleetError) or error.code == "unknown-outcome"
+        if tries < MOST_TRIES and (error is None or error.retry) and not self.over:
+            up = [other for other, machine in self.machines.items() if machine.node is not None] or [name]
+            self.calendar.at(self.calendar.now + self.draw.uniform(20.0, 300.0), self._try, op,
+                             self.draw.choice(up), tries + 1, unknown)
+            return
+        op.fate = "unknown" if unknown else "refused"
+        self._end(op)
+
+    def _again(self, op: Op, tries: int) -> None:
+        up = [name for name, machine in self.machines.items() if machine.node is not None]
+        if up:
+            self._try(op, self.draw.choice(up), tries + MOST_TRIES, True)
+
+    def _end(self, op: Op) -> None:
+        self._open[op.key] -= 1
+        if not self._open[op.key]:
+            self._silent[op.key] = 0.0
+
+    # The run --------------------------------------------------------------------------------------------
+
+    def run(self) -> FleetFigures:
+        """Play it to the end, mend all, and read everything back through every member."""
+        for name in self.machines:
+            self.calendar.at(self.draw.uniform(0.0, 200.0), self.start, name)
+        self.calendar.at(LOOK_MS, self._look)
+        self.calendar.at(2000.0, self._load)
+        for fault in self.plan.faults:
+            self.calendar.at(fault.at_ms, self.happen, fault)
+        self._until(self.plan.length_ms, lambda: False)
+        self._loading = False
+        self._mend()
+        end = self.calendar.now
+        quiet = self._until(end + SETTLE_MS, lambda: not any(self._open.values()) and self.whole())
+        if not quiet and not self.plan.wild and not self.over:
+            self._found("not-whole-again", f"{SETTLE_MS:.0f} ms after all was mended: {self._state()}")
+        self._read_back()
+        verdict = judge(self.ops)
+        self.findings += verdict.findings
+        self._compare_logs()
+        return self._figures(verdict)
+
+    def _state(self) -> str:
+        return "; ".join(f"{group}: {self.config(group)}" for group in self.groups())
+
+    def _until(self, until: float, good: Callable[[], bool]) -> bool:
+        while self.calendar.now < until and not self.over:
+            if good():
+                return True
+            self.calendar.run(min(self.calendar.now + 200.0, until))
+        return good()
+
+    def _mend(self) -> None:
+        self.network.mend()
+        for name, machine in self.machines.items():
+            machine.disk.fsync_ms = self.plan.fsync_ms
+            if machine.disk.full:  # a store that broke takes nothing until its process starts again
+                machine.disk.full = False
+                self.kill(name)
+            self.thaw(name)
+            self.start(name)
+
+    def _read_back(self) -> None:
+        """Each key, through each member; a value that is told is judged with the history."""
+        left: list[Op] = []
+        for key in sorted({op.key for op in self.ops}):
+            for name in self.machines:
+                op = Op(key, f"end/{key}/{name}", None, self.calendar.now)
+                self.ops.append(op)
+                left.append(op)
+                self._open[key] = self._open.get(key, 0) + 1
+                self._try(op, name, 1, False)
+        self._until(self.calendar.now + 15_000.0, lambda: not any(self._open.values()))
+        for op in left:
+            if op.fate != "answered":
+                self.unreadable += 1
+                if not self.plan.wild and not self.over:
+                    self._found("unreadable", f"{op.key} through {op.through}")
+
+    def _compare_logs(self) -> None:
+        """Two logs that agree in an entry's index and term agree in it and in all before (Raft's log matching)."""
+        for group in self.groups():
+            known: dict[tuple[int, int], tuple[str, bytes]] = {}
+            for name, machine in self.machines.items():
+                kept = machine.disk.groups.get(group)
+                for entry in kept.entries if kept else ():
+                    first = known.setdefault((entry.index, entry.term), (name, entry.body))
+                    if first[1] != entry.body:
+                        self._found("logs-differ", f"{group} {entry.index}/{entry.term}: {first[0]} and {name}")
+
+    def _figures(self, verdict: Verdict) -> FleetFigures:
+        rules = sum(finding.name.isupper() for finding in self.findings)
+        return FleetFigures(verdict.acknowledged, verdict.lost, verdict.twice, self.most_leaders,
+                            self.unavailable_ms, self.restored_ms, invariants_broken=rules)
+
+
+def config_of(kept: Kept) -> Config | None:
+    """The members that a log names last."""
+    for entry in reversed(kept.entries):
+        if entry.kind == CONFIG:
+            return msgspec.msgpack.decode(entry.body, type=Config)
+    return kept.snapshot.config if kept.snapshot else None
