Divide a bucket along with a whole, and keep its units from coming from nothing

A part's units in its bucket were granted on without a bound that held over every order of asks and ends, and a lease not yet seen by the leader's clock counted as over. The bucket's depth is now divided as the whole is: caps and the units that nobody holds sum to at most the depth, units move only with the depth that held them. A lease is over only after it was seen. Wishes can be met in proportion (rates) beside evenly (connections); soft holders take what no wish needs.

--- a/fleet/leases.py
+++ b/fleet/leases.py
@@ -1,20 +1,23 @@
 """A whole divided into parts that are held for a time: a contract's rate over gateways, a server's connections.
 
-A holder asks with three figures: what it keeps of its part from now on (it has shrunk to that *before* it asks), what
-it would like, and the number of the lease it holds.  Applied, the lease has a new number and the part that fits.  So the
-order is always: use less, give back, grant, use more; and at every moment the parts granted sum to at most the whole,
-each counted in full until its holder has said that it uses less or its lease is over.
+A holder asks with what it keeps of its part from now on (it has shrunk to that *before* it asks), what it would like,
+and the number of the lease it holds.  Applied, the lease has a new number and the part that fits.  So the order is
+always: use less, give back, grant, use more; and at every moment the parts granted sum to at most the whole, each
+counted in full until its holder has said that it uses less or its lease is over.
 
 The holder counts the time from *before* it asked, by its own monotonic clock.  Whoever ends a lease counts from when it
 saw the grant applied, and longer by what two clocks may differ (`Timings.outlast`).  The asking lies before the grant,
 so the lease has ended at its holder when it is ended here, whatever froze or was cut off.
 
-`room` travels with a part (units left in a bucket): what a holder says is left when it gives a part back can be granted
-on; what a lost holder had is gone.
+A whole may have a bucket (`depth` units).  Its depth is divided as the whole is: a holder's bucket is `cap` deep, the
+caps and the units that nobody holds (`free`) sum to at most `depth`.  Units move by being given back (the cap shrinks by
+at least as many) and granted on; what a lost holder had is gone, and is filled again at the rate.  So all holders
+together draw at most whole * t + depth in any time t.
 """
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -24,6 +27,7 @@
 
 EDGE = 1e-9
 MOST_HOLDERS = 1024
+MOST_SOFT = 20  # holders that get a part of what no wish needs; each of them asks often
 
 
 @dataclass(slots=True)
@@ -33,88 +37,126 @@
     number: int
     part: float
     wish: float
-    room: float = 0.0  # units in its bucket when granted
-    seen: float = 0.0  # `now` of this machine when it saw it applied; not the same at every copy, never dumped
+    cap: float = 0.0  # depth of its bucket
+    soft: bool = False
+    seen: float = math.inf  # `now` of this machine when it saw it applied; not the same at every copy, never dumped
 
 
 @dataclass(frozen=True, slots=True)
 class Grant:
-    """What an asker holds from here on."""
+    """What an asker holds from here on.  It shrinks to `fair` and `fair_cap` before it next asks."""
 
     number: int
     part: float
-    room: float
+    room: float  # units for its bucket, on top of those it has
     spare: float  # not granted to anybody
     holders: int
+    cap: float = 0.0
+    fair: float = 0.0
+    fair_cap: float = 0.0
 
 
 @dataclass(slots=True)
 class Divided:
-    """One whole.  `least`: parts below are granted as none; `step`: parts are multiples of it (1 for connections)."""
+    """One whole.  `step`: parts are multiples of it (1 for connections).  `even`: where wishes pass the whole, each gets
+    an even part up to its wish (connections); else in proportion to the wishes, which loses least where one customer's
+    traffic moves between the holders.  A whole that is made less takes nothing away at once: nothing is granted until
+    holders have given back, or ended, as much."""
 
-    whole: float
+    aim: float  # the whole as it shall be
     depth: float = 0.0  # of the bucket that travels along; 0 for none
     step: float = 0.0
     held: dict[Id, Held] = field(default_factory=dict)
     last: int = 0
-    free_room: float = 0.0  # of the bucket, held by nobody; begins at `depth`
+    free: float = -1.0  # units of the bucket that nobody holds; begins at `depth`
+    even: bool = True
+
+    def __post_init__(self) -> None:
+        self.free = self.depth if self.free < 0 else self.free
+
+    @property
+    def whole(self) -> float:
+        """What the parts sum to at most now: above `aim` while more is held than a lesser one."""
+        return max(self.aim, self.granted())
 
     def granted(self) -> float:
         """The sum of all parts."""
         return sum(one.part for one in self.held.values())
 
-    def ask(self, who: Id, number: int, keep: float, wish: float, room: float,
-            rules: Invariants) -> Grant | BadCall | LeaseOver:
-        """Renew, shrink, grow or give back (wish 0 and keep 0).  `number` 0: it holds none.
+    def resize(self, whole: float, depth: float) -> None:
+        """Another whole, and another depth: of a smaller one, units that nobody holds go first."""
+        self.aim, self.depth = whole, depth
+        self.free = max(min(self.free, depth - self._caps()), 0.0)
 
-        A part grows out of what is spare, up to an even share of the whole for each that wishes more than it has, and
-        beyond it only by what the others' wishes leave.
+    def ask(self, who: Id, number: int, keep: float, wish: float, room: float, rules: Invariants,
+            hold: float = 0.0, need: float = 0.0, soft: bool = False) -> Grant | BadCall | LeaseOver:
+        """Renew, shrink, grow or give back (wish 0, keep 0, not soft).  `number` 0: it holds none.
+
+        `hold`: the depth that it keeps of its bucket; `room`: units that it has taken out of it and gives back;
+        `need`: units that it could take.  `soft`: it takes what no wish needs as well, until another asks for it.
         """
         mine = self.held.get(who)
+        had, cap = (mine.part, mine.cap) if mine is not None else (0.0, 0.0)
         if number != (mine.number if mine is not None else 0):
             return LeaseOver(who, f"lease {number} is not the one in force")
-        if not (0.0 <= keep <= (mine.part if mine is not None else 0.0) + EDGE and wish >= 0.0 and room >= 0.0):
-            return BadCall(who, f"keep {keep!r}, wish {wish!r} or room {room!r} is out of bounds")
-        if mine is None and wish > 0 and len(self.held) >= MOST_HOLDERS:
+        if not (0.0 <= keep <= had + EDGE and 0.0 <= wish < math.inf and room >= 0.0 and 0.0 <= need < math.inf
+                and hold >= 0.0 and hold + room <= cap + EDGE):
+            return BadCall(who, f"keep {keep!r}, wish {wish!r}, hold {hold!r} or room {room!r} is out of bounds")
+        if mine is None and len(self.held) >= MOST_HOLDERS:
             return BadCall(who, f"{MOST_HOLDERS} hold a part already")
-        if mine is not None:
-            # What it says is left goes back, but never more than it could have: what it had, filled since at its rate.
-            self.free_room = min(self.free_room + min(room, self.depth), self.depth) if self.depth else 0.0
-            del self.held[who]
-        if wish <= 0.0 and keep <= 0.0:
-            return Grant(0, 0.0, 0.0, self.whole - self.granted(), len(self.held))
-        spare = max(self.whole - self.granted(), 0.0)
-        part = max(min(wish, self.fair(who, wish), spare), min(keep, spare))
+        before, deep = self.granted(), self._caps()
+        self.held.pop(who, None)
+        # What it gives back lay in the depth that it gives back, so caps and free units stay within the depth.
+        self.free = max(min(self.free + room, self.depth - self._caps() - hold), 0.0)
+        if wish <= 0.0 and keep <= 0.0 and not soft:
+            return Grant(0, 0.0, 0.0, self.aim - self.granted(), len(self.held))
+        spare = max(self.aim - self.granted(), 0.0)
+        fair = self.fair(who, wish, soft)
+        most = max(fair, self.aim - sum(one.wish for one in self.held.values())) if soft else min(wish, fair)
+        # What it keeps stays its own even above a whole that was made less: it was granted, and is in use.
+        part = max(min(most, spare), min(keep, had))
         if self.step:
             part = int(part / self.step + EDGE) * self.step
-        given = self.free_room * (part / self.whole) if self.whole > 0 else 0.0
-        if mine is not None and self.depth:
-            given = min(max(given, min(room, self.free_room)), self.depth * part / self.whole if self.whole else 0.0)
-        self.free_room -= given
+        fair_cap = self.depth / (len(self.held) + 1)
+        grow = max(fair_cap - hold, 0.0)
+        given = min(self.free, need + grow)
+        slack = max(self.depth - self._caps() - hold - self.free, 0.0)
+        self.free -= given
+        cap = hold + min(grow, slack + given)
         self.last += 1
-        self.held[who] = Held(self.last, part, wish, given)
-        rules.check(Rule.PARTS_IN_WHOLE, self.granted() <= self.whole + 1e-6,
-                    lambda: f"{self.granted():g} of {self.whole:g} granted to {len(self.held)}")
-        return Grant(self.last, part, given, self.whole - self.granted(), len(self.held))
-
-    def fair(self, who: Id, wish: float) -> float:
-        """The max-min share of one wish among those of all holders."""
-        wishes = sorted([wish, *(one.wish for other, one in self.held.items() if other != who)])
-        left, count = self.whole, len(wishes)
-        for one in wishes:
+        self.held[who] = Held(self.last, part, wish, cap, soft)
+        rules.check(Rule.PARTS_IN_WHOLE, self.granted() <= max(self.aim, before) + 1e-6
+                    and self._caps() + self.free <= max(self.depth, deep) + 1e-6,
+                    lambda: f"{self.granted():g} of {self.aim:g}, depth {self._caps():g} and {self.free:g} of "
+                            f"{self.depth:g} granted to {len(self.held)}")
+        return Grant(self.last, part, given, self.aim - self.granted(), len(self.held), cap, fair, fair_cap)
+
+    def fair(self, who: Id, wish: float, soft: bool = False) -> float:
+        """What one wish comes to beside those of all other holders; with what no wish needs where it is soft."""
+        others = [one for other, one in self.held.items() if other != who]
+        left = self.aim - wish - sum(one.wish for one in others)
+        if left >= 0.0:
+            lenders = 1 + sum(one.soft for one in others)
+            if soft:
+                return wish + (left / lenders if lenders <= MOST_SOFT else 0.0)
+            return wish + left if self.even else wish
+        if not self.even:
+            return self.aim * wish / (self.aim - left)
+        left, count = self.aim, len(others) + 1
+        for one in sorted([wish, *(one.wish for one in others)]):  # max-min: the least wishes first
             share = left / count
             if one > share:
-                return max(share, 0.0) if wish > share else wish
+                return max(min(wish, share), 0.0)
             left, count = left - one, count - 1
-        return wish + left  # all wishes fit: what is over is anybody's
+        return wish
 
     def excess(self, who: Id) -> float:
         """By how much a holder is above its fair part while others have less than theirs: it should give that back."""
         mine = self.held[who]
-        return max(mine.part - self.fair(who, mine.wish), 0.0)
+        return max(mine.part - self.fair(who, mine.wish, mine.soft), 0.0)
 
     def end(self, who: Id, number: int) -> bool:
-        """The time of a lease is over: its part is free, what was in its bucket is not."""
+        """The time of a lease is over: its part and its depth are free, what was in its bucket is gone."""
         mine = self.held.get(who)
         if mine is None or mine.number != number:
             return False
@@ -128,17 +170,19 @@
     def seen(self, now: float) -> None:
         """Note when leases that are new here were seen."""
         for one in self.held.values():
-            if one.seen == 0.0:
+            if one.seen == math.inf:
                 one.seen = now
 
+    def _caps(self) -> float:
+        return sum(one.cap for one in self.held.values())
+
     def dump(self) -> Any:
         """Plain data."""
-        return [self.whole, self.depth, self.step, self.last, self.free_room,
-                [[who, one.number, one.part, one.wish, one.room] for who, one in self.held.items()]]
+        return [self.aim, self.depth, self.step, self.last, self.free, self.even,
+                [[who, one.number, one.part, one.wish, one.cap, one.soft] for who, one in self.held.items()]]
 
     @classmethod
     def load(cls, raw: Any) -> Divided:
         """From `dump`; what is held counts as seen when it is next looked at."""
-        whole, depth, step, last, free, held = raw
-        return cls(whole, depth, step, {who: Held(number, part, wish, room) for who, number, part, wish, room in held},
-                   last, free)
+        aim, depth, step, last, free, even, held = raw
+        return cls(aim, depth, step, {who: Held(*rest) for who, *rest in held}, last, free, even)
