--- a/fleet/connections.py
+++ b/fleet/connections.py
@@ -29,9 +29,9 @@
 
 import msgspec
 
-from fleet.errors import BadCall, FleetError, LeaseOver, NotThere, TakenId, WrongState
+from fleet.errors import BadCall, FleetError, NotThere, TakenId, WrongState
 from fleet.invariants import Invariants, Rule
-from fleet.leases import EDGE, Divided
+from fleet.leases import EDGE, Divided, Grant
 from fleet.messages import Id, name_of
 from fleet.part import Applied, Command, View
 from fleet.timings import Timings
@@ -159,7 +159,7 @@
 
 @dataclass(slots=True)
 class _Server:
-    """One server's limit; `parts.whole` is the limit."""
+    """One server's limit; `parts.aim` is the limit, `parts.whole` above it while more is held than a lowered one."""
 
     idle_ms: float
     parts: Divided
@@ -194,14 +194,16 @@
             if len(self.servers) >= MOST_SERVERS:
                 return Applied(error=BadCall(command.server, f"{MOST_SERVERS} servers have a limit already"))
             found = self.servers[command.server] = _Server(command.idle_ms, Divided(0.0, step=1.0))
-        found.parts.whole, found.idle_ms, found.gone = float(command.most), command.idle_ms, False
+        found.parts.resize(float(command.most), 0.0)
+        found.idle_ms, found.gone = command.idle_ms, False
         return Applied({"granted": int(found.parts.granted())})
 
     def _unlimit(self, command: Unlimit) -> Applied:
         found = self.servers.get(command.server)
         if found is None:
             return Applied(error=NotThere(command.server, "no limit of that server is known"))
-        found.parts.whole, found.gone = 0.0, True
+        found.parts.resize(0.0, 0.0)
+        found.gone = True
         self._tidy(command.server)
         return Applied({"granted": int(found.parts.granted())})
 
@@ -222,24 +224,17 @@
         if found is None:
             return [ask.server, UNKNOWN, 0, 0, 0]
         parts = found.parts
-        before, limit = parts.granted(), parts.whole
-        mine = parts.held.get(who)
-        others = before - (mine.part if mine is not None else 0.0)
-        # Above a limit that was lowered a holder goes on with what it keeps, and nobody gets more.
-        parts.whole = max(limit, others + ask.keep) if mine is not None else limit
+        before, limit = parts.granted(), parts.aim
         parts.last = self._last
         given = parts.ask(who, ask.number, ask.keep, ask.wish, 0.0, self._rules)
-        parts.whole = limit
-        if isinstance(given, LeaseOver):
-            return [ask.server, OVER, 0, 0, 0]
-        if isinstance(given, BadCall):  # keeps more than it has: it holds nothing that this one could name
+        if not isinstance(given, Grant):  # it names a lease that is over, or keeps more than it has
             return [ask.server, OVER, 0, 0, 0]
         held = parts.held.get(who)
         if held is None:
             self._tidy(ask.server)
-            return [ask.server, 0, 0, 0, int(given.spare)]
+            return [ask.server, 0, 0, 0, max(int(given.spare), 0)]
         # An even share of 0.12 is one connection for those who come first, or nobody had any.
-        aim = min(math.ceil(max(parts.fair(who, ask.wish), 0.0) - EDGE), ask.wish)
+        aim = min(math.ceil(given.fair - EDGE), ask.wish)
         if held.part < aim and limit - parts.granted() >= 1.0 - EDGE:
             held.part += 1.0
         if limit - parts.granted() >= 1.0 - EDGE:
@@ -291,7 +286,7 @@
 
     def told(self) -> dict[str, Any]:
         """For operators: limit, what is granted, to how many."""
-        return {server: {"limit": int(one.parts.whole), "granted": int(one.parts.granted()),
+        return {server: {"limit": int(one.parts.aim), "granted": int(one.parts.granted()),
                          "holders": len(one.parts.held)} for server, one in self.servers.items()}
 
     def dump(self) -> Any:
