--- /dev/null
+++ b/fleet/log.py
@@ -0,0 +1,112 @@
+"""A group's log in memory: entries behind a base, and the configurations that stand in it.
+
+What lies at or before `base` has been put into a snapshot and dropped.  A config entry counts from where it is appended
+(dissertation, 4.1), so the log knows at each index which one holds, and a cut takes a config entry back with it.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from fleet.events import Saved
+from fleet.messages import CONFIG, Config, Entry
+
+_decode = msgspec.msgpack.Decoder(Config).decode
+encode_config = msgspec.msgpack.Encoder().encode
+
+
+class Log:
+    """Entries `base + 1` to `last`.  `config` is None where nothing has told it yet: a newcomer."""
+
+    def __init__(self, base: int, term: int, config: Config | None, entries: tuple[Entry, ...] = ()) -> None:
+        self.base, self.base_term = base, term
+        self._configs: list[tuple[int, Config | None]] = [(base, config)]
+        self._entries: list[Entry] = []
+        for entry in entries:
+            self.add(entry)
+
+    @classmethod
+    def load(cls, saved: Saved) -> Log:
+        """From a store; ValueError where the entries do not go on from the snapshot, or are newer than the term.
+
+        Entries of an older term than the snapshot's were overtaken by it (it came from a leader that never had them)
+        and are dropped: a store has no record for that, and the next append writes over them.
+        """
+        snapshot, entries = saved.snapshot, saved.entries
+        if snapshot is None:
+            if entries:
+                raise ValueError("entries without a snapshot before them")
+            return cls(0, 0, None)
+        if entries and entries[0].term < snapshot.term:
+            entries = ()
+        for at, entry in enumerate(entries, snapshot.index + 1):
+            if entry.index != at or entry.term > saved.term:
+                raise ValueError(f"entry {at}: found index {entry.index} of term {entry.term} in term {saved.term}")
+        return cls(snapshot.index, snapshot.term, snapshot.config, entries)
+
+    @property
+    def last(self) -> int:
+        """The last index."""
+        return self.base + len(self._entries)
+
+    @property
+    def config(self) -> Config | None:
+        """As of the last index."""
+        return self._configs[-1][1]
+
+    @property
+    def config_index(self) -> int:
+        """Where the last configuration stands."""
+        return self._configs[-1][0]
+
+    def config_at(self, index: int) -> Config | None:
+        """As of an index, which is `base` or behind it."""
+        return next(config for at, config in reversed(self._configs) if at <= index)
+
+    def term_at(self, index: int) -> int:
+        """Of the entry there; 0 where there is none."""
+        if index == self.base:
+            return self.base_term
+        at = index - self.base - 1
+        return self._entries[at].term if 0 <= at < len(self._entries) else 0
+
+    def at(self, index: int) -> Entry:
+        """The entry there."""
+        return self._entries[index - self.base - 1]
+
+    def some(self, index: int, most: int, most_bytes: int) -> tuple[Entry, ...]:
+        """Entries from an index on: at most so many and so long in all, but one at the least where there is one."""
+        at = index - self.base - 1
+        found = self._entries[at:at + most]
+        size = 0
+        for count, entry in enumerate(found):
+            size += len(entry.body)
+            if size > most_bytes and count:
+                return tuple(found[:count])
+        return tuple(found)
+
+    def first_of_term(self, index: int, least: int) -> int:
+        """The first index of the same term as the entry there, not before `least`."""
+        term = self.term_at(index)
+        while index > least and self.term_at(index - 1) == term:
+            index -= 1
+        return index
+
+    def add(self, entry: Entry) -> None:
+        """At the end."""
+        self._entries.append(entry)
+        if entry.kind == CONFIG:
+            self._configs.append((entry.index, _decode(entry.body)))
+
+    def cut(self, index: int) -> None:
+        """Drop what lies at or behind an index."""
+        del self._entries[index - self.base - 1:]
+        while self._configs[-1][0] >= index > self.base:
+            self._configs.pop()
+
+    def compact(self, index: int) -> None:
+        """Drop what lies at or before an index."""
+        config, term = self.config_at(index), self.term_at(index)
+        del self._entries[:index - self.base]
+        self.base, self.base_term = index, term
+        self._configs = [(index, config)] + [held for held in self._configs if held[0] > index]
