Admit contracts over time, and divide each over the gateways by leases

The operators want reserved capacity that outlives a machine. Contracts admits rates over windows in the fleet's one log, against the capacity less a part for losses and a floor for others; states are a table. A change counts the dearer of two versions until the tenant's group says that no lease of the old one is left. Floors divides rate and burst.

--- /dev/null
+++ b/fleet/contracts.py
@@ -0,0 +1,920 @@
+"""Contracts: a rate of units a second that the fleet keeps for a tenant (a set of customers) over windows of time.
+
+`Contracts` is a part of the fleet's own group: it admits by rates over windows, so that a refusal can say what would fit
+and when.  It is one log, so two proposals at two gateways never both take the last room.  What may be promised is the
+stated capacity less a part in reserve for losses, less a floor for everybody else; a promise counts from its window's
+begin until the last lease under it must be over (`Timings.outlast` behind its end).
+
+`Floors` is a part of a tenant's group: it divides each contract's rate and burst over the gateways (`fleet.leases`).
+
+A change (a cancelling is one, to no windows) has a number and one moment from which it holds, two lives of a lease ahead
+at the least.  The fleet's group opens it at the tenant's group; that holds to it from its moment, and says `Told` when
+every lease of the version before is given back or over.  Until then the dearer of the two counts at every moment:
+close, return, grant, open.
+
+What the two groups do for each other is asked again until it is answered, by ids that make a repeat harmless.
+
+Source: the operators' wish "Reserved capacity contracts"; admission by rates over windows grew out of the reservations
+of `martenstep/plans`.  States are data, in TRANSITIONS.
+"""
+
+from __future__ import annotations
+
+import math
+import re
+from bisect import bisect_right
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+from enum import Enum
+from itertools import pairwise
+from typing import Any, ClassVar
+
+import msgspec
+
+from fleet.errors import AnyError, BadCall, Crowded, NoRoom, NotThere, WrongState
+from fleet.invariants import Invariants, Rule
+from fleet.leases import EDGE, Divided, Grant
+from fleet.messages import Id
+from fleet.part import Applied, Command, View
+from fleet.timings import Timings
+
+MOST_CONTRACTS = 1000  # not settled, in the fleet; more are refused
+MOST_OF_TENANT = 16
+MOST_SETTLED = 200  # kept for reading; the oldest goes first
+MOST_CUSTOMERS = 1000  # of one contract
+MOST_SPANS = 512  # times that one contract's windows come to
+MOST_SPANS_IN_ALL = 20_000
+MOST_REPORTERS = 1024  # of what one contract is short, gateway by gateway and cause by cause
+MOST_FLOORS = 1000  # contracts of one tenants' group
+MOST_TRIES = 200  # moments looked at for when a proposal would fit
+LONGEST_MS = 366 * 24 * 3_600_000.0  # from the first window's begin to the last one's end
+HIGHEST = 1e9  # a rate or a burst
+RANKS = 9  # classes of importance, 1 goes last when capacity falls short
+ARM_MS = 10_000.0  # before its window a contract is armed, and gateways begin to ask
+EARLY_MS = 1000.0  # before its window parts are granted, for use from its begin
+CURED_MS = 5000.0  # without a unit short a breach is over
+OTHERS_FLOOR = 0.1  # part of the capacity that is promised to nobody, where nothing else is stated
+OPEN_MS = 500.0  # between two askings of the other group, doubled up to AGAIN_MS
+AGAIN_MS = 30_000.0
+NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
+
+
+class State(Enum):
+    """Where a contract stands."""
+
+    PROPOSED = "proposed"
+    REFUSED = "refused"
+    ADMITTED = "admitted"
+    ARMED = "armed"  # its window is near, and the tenant's group holds it
+    ACTIVE = "active"
+    BREACHED = "breached"  # active, and units short of late
+    CLOSING = "closing"  # its window is over or it is cancelled: leases come to their end
+    SETTLED = "settled"
+
+
+class Step(Enum):
+    """What happens to one."""
+
+    ADMIT = "it fits"
+    REFUSE = "it does not fit"
+    ARM = "its window is near and the tenant's group holds it"
+    BEGIN = "its window begins"
+    SHORT = "units within it were not served"
+    CURE = "no unit was short of late"
+    END = "its window ends"
+    CANCEL = "it is taken back"
+    AGAIN = "another window is ahead"
+    SETTLE = "its last lease is over"
+
+
+S, E = State, Step
+TRANSITIONS: dict[tuple[State, Step], State] = {
+    (S.PROPOSED, E.ADMIT): S.ADMITTED,
+    (S.PROPOSED, E.REFUSE): S.REFUSED,
+    (S.ADMITTED, E.ARM): S.ARMED,
+    (S.ADMITTED, E.END): S.CLOSING,  # the tenant's group never came to hold it
+    (S.ADMITTED, E.CANCEL): S.CLOSING,
+    (S.ADMITTED, E.SHORT): S.ADMITTED,
+    (S.ARMED, E.BEGIN): S.ACTIVE,
+    (S.ARMED, E.END): S.CLOSING,
+    (S.ARMED, E.CANCEL): S.CLOSING,
+    (S.ARMED, E.SHORT): S.ARMED,
+    (S.ACTIVE, E.SHORT): S.BREACHED,
+    (S.ACTIVE, E.END): S.CLOSING,
+    (S.ACTIVE, E.CANCEL): S.CLOSING,
+    (S.BREACHED, E.SHORT): S.BREACHED,
+    (S.BREACHED, E.CURE): S.ACTIVE,
+    (S.BREACHED, E.END): S.CLOSING,
+    (S.BREACHED, E.CANCEL): S.CLOSING,
+    (S.CLOSING, E.SHORT): S.CLOSING,  # told late
+    (S.CLOSING, E.AGAIN): S.ADMITTED,
+    (S.CLOSING, E.SETTLE): S.SETTLED,
+    (S.SETTLED, E.SHORT): S.SETTLED,
+}
+
+
+class Window(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """From a moment to a moment, Unix ms; with `every_ms` again and again, the last one begun before `until_ms`."""
+
+    from_ms: float
+    to_ms: float
+    every_ms: float = 0.0
+    until_ms: float = 0.0
+
+
+class Terms(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What is promised.  `surplus`: what the tenant asks for on top is served as anybody's, else it is refused."""
+
+    tenant: str
+    customers: tuple[int, ...]
+    rate: float  # units a second
+    burst: float  # units
+    windows: tuple[Window, ...]
+    hall: str = ""  # empty: any
+    surplus: bool = True
+    rank: int = 1  # class of importance: where capacity falls short, the highest number goes first
+
+    def fault(self) -> str:
+        """The key at fault and what is wrong with it."""
+        if not NAME.fullmatch(self.tenant):
+            return f"tenant: expected 1 to 64 of letters, digits, '.', '_' and '-', got {self.tenant[:64]!r}"
+        if not 1 <= len(self.customers) <= MOST_CUSTOMERS or len(set(self.customers)) < len(self.customers):
+            return f"customers: expected 1 to {MOST_CUSTOMERS}, each once"
+        if not 0.0 < self.rate <= HIGHEST:
+            return f"rate: expected above 0 and at most {HIGHEST:g}, got {self.rate!r}"
+        if not 0.0 <= self.burst <= HIGHEST:
+            return f"burst: expected 0 to {HIGHEST:g}, got {self.burst!r}"
+        if not 1 <= self.rank <= RANKS:
+            return f"rank: expected 1 to {RANKS}, got {self.rank}"
+        return _faulty_windows(self.windows)
+
+
+def _faulty_windows(windows: tuple[Window, ...]) -> str:
+    if not windows:
+        return "windows: expected one at the least"
+    count = 0
+    for one in windows:
+        if not 0.0 <= one.from_ms < one.to_ms < math.inf:
+            return "windows: expected from_ms before to_ms"
+        if one.every_ms or one.until_ms:
+            if not one.to_ms - one.from_ms <= one.every_ms < math.inf:
+                return "windows: every_ms: expected the window's own length at the least"
+            if not one.from_ms < one.until_ms <= one.from_ms + LONGEST_MS:
+                return "windows: until_ms: expected behind from_ms, within 366 days"
+        count += _times(one)
+        if count > MOST_SPANS:
+            return f"windows: they come to more than {MOST_SPANS}"
+    found = spans(windows)
+    if found[-1][1] - found[0][0] > LONGEST_MS:
+        return "windows: expected all within 366 days"
+    return "windows: two lie over each other" if any(a[1] > b[0] for a, b in pairwise(found)) else ""
+
+
+def _times(one: Window) -> int:
+    return math.ceil((one.until_ms - one.from_ms) / one.every_ms) if one.every_ms else 1
+
+
+Span = tuple[float, float]  # Unix ms
+
+
+def spans(windows: Iterable[Window]) -> list[Span]:
+    """All times at which windows hold, in order."""
+    return sorted((one.from_ms + turn * one.every_ms, one.to_ms + turn * one.every_ms)
+                  for one in windows for turn in range(_times(one)))
+
+
+# Commands of the fleet's group ---------------------------------------------------------------------------------------
+
+
+class Capacity(Command, frozen=True, kw_only=True):
+    """What the fleet can carry, units a second; `reserve`: the part kept for losses; `floor`: units a second for all
+    others; `halls`: capacity of each, where it is known."""
+
+    units: float
+    reserve: float
+    floor: float
+    halls: dict[str, float] = msgspec.field(default_factory=dict)
+
+    def fault(self) -> str:
+        if not 0.0 <= self.units <= HIGHEST or not 0.0 <= self.floor <= HIGHEST:
+            return "units: expected 0 to 1e9, and floor as well"
+        if len(self.halls) > 64 or not all(0.0 <= one <= HIGHEST for one in self.halls.values()):
+            return "halls: expected 64 at the most, each 0 to 1e9"
+        return "" if 0.0 <= self.reserve < 1.0 else f"reserve: expected 0 to below 1, got {self.reserve!r}"
+
+
+class Propose(Command, frozen=True, kw_only=True):
+    """A contract under a name of its own.  Gives its facts, or NoRoom with what would fit and when."""
+
+    contract: str
+    terms: Terms
+
+    def fault(self) -> str:
+        return _named(self.contract) or self.terms.fault()
+
+
+class Change(Command, frozen=True, kw_only=True):
+    """Other terms from one moment over all gateways.  The tenant stays."""
+
+    contract: str
+    terms: Terms
+    holds_from_ms: float
+
+    def fault(self) -> str:
+        if not 0.0 < self.holds_from_ms < math.inf:
+            return "holds_from_ms: expected a moment, Unix ms"
+        return _named(self.contract) or self.terms.fault()
+
+
+class CancelContract(Command, frozen=True, kw_only=True):
+    """Take a contract back, half used or not: it holds for two lives of a lease yet, then its room is free."""
+
+    contract: str
+
+
+class Told(Command, frozen=True, kw_only=True):
+    """The tenant's group holds to that version, and no lease of one before is left."""
+
+    contract: str
+    version: int
+
+
+class Short(Command, frozen=True, kw_only=True):
+    """Units within the contract that were not served at one gateway, by cause: its total since it began to count, so
+    that a repeat adds nothing."""
+
+    once: ClassVar[bool] = False
+
+    contract: str
+    by: str
+    cause: str
+    units: float
+    since_ms: float
+
+    def fault(self) -> str:
+        if not 0 < len(self.by) <= 200 or not 0 < len(self.cause) <= 40:
+            return "by: expected a name, and a cause"
+        return "" if 0.0 < self.units < math.inf and 0.0 <= self.since_ms < math.inf else "units: expected above 0"
+
+
+class Pass(Command, frozen=True, kw_only=True):
+    """Time has gone on: contracts go on by their table."""
+
+    once: ClassVar[bool] = False
+
+
+class ContractsRead(Command, frozen=True, kw_only=True):
+    """All contracts, for operators: state, terms, units short; and the room that is left now."""
+
+    reads: ClassVar[bool] = True
+
+
+class ContractsKnown(Command, frozen=True, kw_only=True):
+    """What a gateway has to know of contracts; nothing but the number where it has that already."""
+
+    reads: ClassVar[bool] = True
+
+    have: int = -1
+
+
+# Commands of a tenant's group ----------------------------------------------------------------------------------------
+
+
+class _OfTenant(Command, frozen=True, kw_only=True):
+    tenant: str
+    contract: str
+
+    def key(self) -> str:
+        return f"t:{self.tenant}"
+
+
+class Open(_OfTenant, frozen=True, kw_only=True):
+    """Hold to a version from its moment on (a first one: at once)."""
+
+    version: int
+    rate: float
+    burst: float
+    times: tuple[Span, ...]
+    holds_from_ms: float
+
+    def fault(self) -> str:
+        good = self.version >= 1 and 0.0 < self.rate <= HIGHEST and 0.0 <= self.burst <= HIGHEST
+        return "" if good and len(self.times) <= MOST_SPANS else "version: out of bounds"
+
+
+class Lease(_OfTenant, frozen=True, kw_only=True):
+    """Renew, shrink, grow or give back a part of a contract's rate and burst: see `fleet.leases.Divided.ask`."""
+
+    once: ClassVar[bool] = False  # its number states the order; the last answer is kept for a repeat
+
+    holder: Id
+    number: int
+    keep: float
+    wish: float
+    room: float
+    hold: float = 0.0
+    need: float = 0.0
+    soft: bool = False
+
+    def fault(self) -> str:
+        figures = (self.keep, self.wish, self.room, self.hold, self.need)
+        if not all(0.0 <= one <= HIGHEST for one in figures):
+            return "keep: expected 0 to 1e9, and the other figures as well"
+        return "" if 0 < len(self.holder) <= 200 and self.number >= 0 else "holder: expected a name, and a number"
+
+
+class TurnFloor(_OfTenant, frozen=True, kw_only=True):
+    """The moment of a version has come, though nobody asks for a part."""
+
+    once: ClassVar[bool] = False
+
+
+class EndLease(_OfTenant, frozen=True, kw_only=True):
+    """A lease is over by the leader's clock, and so by its holder's."""
+
+    once: ClassVar[bool] = False  # its number is given once
+
+    holder: Id
+    number: int
+
+
+FLEET_COMMANDS: tuple[type[Command], ...] = (Capacity, Propose, Change, CancelContract, Told, Short, Pass, ContractsRead,
+                                             ContractsKnown)
+TENANT_COMMANDS: tuple[type[Command], ...] = (Open, Lease, EndLease, TurnFloor)
+COMMANDS: tuple[type[Command], ...] = FLEET_COMMANDS + TENANT_COMMANDS
+
+
+def _named(contract: str) -> str:
+    return "" if NAME.fullmatch(contract) else "contract: expected 1 to 64 of letters, digits, '.', '_' and '-'"
+
+
+# Admission -----------------------------------------------------------------------------------------------------------
+
+Piece = tuple[float, float, float]  # from, to, units a second
+
+
+@dataclass(slots=True)
+class Version:
+    """Terms from a moment on.  `times`: when its windows hold; none for a cancelling."""
+
+    number: int
+    terms: Terms
+    times: list[Span]
+    holds_from: float
+
+
+@dataclass(slots=True)
+class Contract:
+    """One contract.  `versions`: the one in force, and one that is coming or whose leases are not all moved to yet."""
+
+    name: str
+    versions: list[Version]
+    state: State = State.PROPOSED
+    told: int = 0  # the newest version that the tenant's group holds to
+    cancelled: bool = False
+    short: dict[str, dict[str, float]] = field(default_factory=dict)  # cause -> reporter -> units
+    since_ms: float = 0.0  # of the first unit short
+    last_short_ms: float = 0.0
+
+    def step(self, step: Step) -> bool:
+        """Go on by the table; False where the table has no such step."""
+        new = TRANSITIONS.get((self.state, step))
+        self.state = new or self.state
+        return new is not None
+
+    @property
+    def newest(self) -> Version:
+        """What holds, or will."""
+        return self.versions[-1]
+
+    def at(self, at_ms: float) -> Version:
+        """The version whose windows hold at a moment."""
+        return self.newest if at_ms >= self.newest.holds_from else self.versions[0]
+
+    def pieces(self, tail: float) -> list[Piece]:
+        """What it takes of the capacity: while two versions are about, the dearer at every moment."""
+        found = [[(begin, end + tail, one.terms.rate) for begin, end in one.times] for one in self.versions]
+        if len(found) == 1:
+            return _merged([], found[0])
+        later = self.newest.holds_from
+        return _merged(found[0], [(max(begin, later), end, rate) for begin, end, rate in found[1] if end > later])
+
+
+def _merged(one: list[Piece], two: list[Piece]) -> list[Piece]:
+    """The higher of two at every moment, without a piece that counts twice."""
+    marks = sorted({at for begin, end, _ in one + two for at in (begin, end)})
+    line = [max(_height(one, at), _height(two, at)) for at in marks]
+    return [(begin, end, rate) for (begin, end), rate in zip(pairwise(marks), line, strict=False) if rate > 0.0]
+
+
+def _height(pieces: list[Piece], at: float) -> float:
+    """Of pieces in order of their begin, of which only neighbours overlap."""
+    found = bisect_right(pieces, at, key=lambda one: one[0])
+    return max((one[2] for one in pieces[max(found - 2, 0):found] if one[1] > at), default=0.0)
+
+
+class Line:
+    """The sum of pieces over time."""
+
+    def __init__(self, pieces: Iterable[Piece]) -> None:
+        steps = sorted((at, by) for begin, end, rate in pieces for at, by in ((begin, rate), (end, -rate)))
+        self.marks: list[float] = []
+        self.after: list[float] = []
+        height = 0.0
+        for at, by in steps:
+            height += by
+            if self.marks and self.marks[-1] == at:
+                self.after[-1] = height
+            else:
+                self.marks.append(at)
+                self.after.append(height)
+
+    def peak(self, begin: float, end: float) -> float:
+        """The highest at any moment of [begin, end)."""
+        first = bisect_right(self.marks, begin)
+        last = max(bisect_right(self.marks, math.nextafter(end, -math.inf)), first)
+        return max([self.after[first - 1] if first else 0.0, *self.after[first:last]], default=0.0)
+
+
+class Contracts:
+    """The part of the fleet's group that admits contracts and follows them to their end."""
+
+    def __init__(self, timings: Timings, rules: Invariants) -> None:
+        self._timings, self._rules = timings, rules
+        self.held: dict[str, Contract] = {}
+        self.capacity, self.reserve, self.floor = 0.0, 0.0, 0.0
+        self.halls: dict[str, float] = {}
+        self.made = 0  # versions; a number is given once, whatever contract bears a name
+        self.stated = 0  # times that a capacity was stated
+        self.known = 0  # changes of what gateways have to know
+        self._asked: dict[str, tuple[float, float]] = {}  # of this leader alone: when to ask again, and the pause
+        self._booked: dict[str, float] = {}  # what was promised already when less capacity was stated; by hall
+
+    @property
+    def tail(self) -> float:
+        """So long behind a window's end a lease may yet be in use."""
+        return self._timings.outlast()
+
+    def apply(self, at_ms: float, command: Any) -> Applied:
+        """See fleet.part."""
+        if said := command.fault():
+            return Applied(error=BadCall(getattr(command, "contract", "") or "capacity", said))
+        for one in self.held.values():
+            self._move(at_ms, one)
+        match command:
+            case Propose():
+                result = self._propose(at_ms, command)
+            case Change():
+                result = self._change(at_ms, command.contract, command.terms, command.holds_from_ms)
+            case CancelContract():
+                result = self._change(at_ms, command.contract, None, at_ms + 2 * self.tail)
+            case Told():
+                result = self._told(at_ms, command)
+            case Short():
+                result = self._short(at_ms, command)
+            case Capacity():
+                result = self._capacity(at_ms, command)
+            case Pass():
+                self._tidy()
+                return Applied()
+            case _:
+                return Applied(error=BadCall("contracts", f"unknown command {type(command).__name__}"))
+        if result.error is None and not isinstance(command, Short):
+            self._check(at_ms)
+        return result
+
+    def look(self, command: Any) -> Applied:
+        """See fleet.part."""
+        if isinstance(command, ContractsKnown):
+            return Applied({"known": self.known} if command.have == self.known else {
+                "known": self.known, "contracts": [self._facts(one) for one in self.held.values()
+                                                   if one.state not in (S.SETTLED, S.REFUSED)]})
+        return Applied({"capacity": self.capacity, "reserve": self.reserve, "floor": self.floor,
+                        "contracts": {one.name: self._told_of(one) for one in self.held.values()}})
+
+    def available(self, hall: str = "") -> float:
+        """What may be promised, units a second: in all, or in a hall (whose reserve and floor are its part)."""
+        if not hall:
+            return max(self.capacity * (1.0 - self.reserve) - self.floor, 0.0)
+        part = self.halls.get(hall, self.capacity) / self.capacity if self.capacity else 0.0
+        return self.available() * min(part, 1.0)
+
+    def _propose(self, at_ms: float, command: Propose) -> Applied:
+        terms, known = command.terms, self.held.get(command.contract)
+        if known is not None:
+            same = known.versions[0].terms == terms
+            return Applied(self._told_of(known), None if same else WrongState(command.contract, "another has that name"))
+        times = spans(terms.windows)
+        if times[0][0] < at_ms:
+            late = at_ms - times[0][0]
+            return Applied(error=BadCall(command.contract, f"windows: from_ms: {late:.0f} ms in the past"))
+        if (full := self._full(terms, len(times))) is not None:
+            return Applied(error=full)
+        made = Contract(command.contract, [Version(self.made + 1, terms, times, 0.0)])
+        refused = self._refuse(at_ms, made.name, made.pieces(self.tail), terms)
+        made.step(E.ADMIT if refused is None else E.REFUSE)
+        if refused is not None:
+            return Applied(error=refused)
+        self.held[made.name] = made
+        self.made += 1
+        self.known += 1
+        self._move(at_ms, made)
+        return Applied(self._told_of(made))
+
+    def _full(self, terms: Terms, times: int) -> AnyError | None:
+        self._tidy()
+        live = [one for one in self.held.values() if one.state is not S.SETTLED]
+        if len(live) >= MOST_CONTRACTS or sum(one.newest.terms.tenant == terms.tenant for one in live) >= MOST_OF_TENANT:
+            return Crowded(terms.tenant, f"{MOST_CONTRACTS} in all, or {MOST_OF_TENANT} of a tenant, are held already")
+        if sum(len(v.times) for one in live for v in one.versions) + times > MOST_SPANS_IN_ALL:
+            return Crowded(terms.tenant, f"windows: all contracts' come to more than {MOST_SPANS_IN_ALL}")
+        return None
+
+    def _refuse(self, at_ms: float, name: str, pieces: list[Piece], terms: Terms) -> NoRoom | None:
+        """Why it does not fit, or None.  `pieces`: all that it would take, beside all others."""
+        fits = math.inf
+        for hall in ("", terms.hall) if terms.hall else ("",):
+            others = self._line(hall, without=name)
+            free = self.available(hall)
+            ahead = [(max(begin, at_ms), end, rate) for begin, end, rate in pieces if end > at_ms]
+            if any(others.peak(begin, end) + rate > free + EDGE for begin, end, rate in ahead):
+                fits = min(fits, max(free - max(others.peak(begin, end) for begin, end, _ in ahead), 0.0))
+        if fits is math.inf:
+            return None
+        return NoRoom(name, f"rate: {terms.rate:g} units a second are asked for", fits=fits,
+                      fits_from_ms=self._earliest(at_ms, name, pieces, terms))
+
+    def _earliest(self, at_ms: float, name: str, pieces: list[Piece], terms: Terms) -> float:
+        """From when on all of it would fit; it can only become so where something else ends."""
+        halls = ("", terms.hall) if terms.hall else ("",)
+        lines = [(self._line(hall, without=name), self.available(hall)) for hall in halls]
+        begin = pieces[0][0]
+        ends = sorted({at for line, _ in lines for at, before, after in zip(
+            line.marks, [0.0, *line.after], line.after, strict=False) if after < before and at > begin})
+        for at in ends[:MOST_TRIES]:
+            shift = at - begin
+            if all(line.peak(a + shift, b + shift) + rate <= free + EDGE
+                   for line, free in lines for a, b, rate in pieces):
+                return at
+        return 0.0
+
+    def _line(self, hall: str = "", without: str = "") -> Line:
+        return Line(piece for one in self.held.values()
+                    if one.name != without and one.state not in (S.SETTLED, S.REFUSED)
+                    and (not hall or any(v.terms.hall == hall for v in one.versions))
+                    for piece in one.pieces(self.tail))
+
+    def _check(self, at_ms: float) -> None:
+        """What is promised fits from here on, but for what stood already when less capacity was stated."""
+        for hall in ("", *self.halls):
+            peak, free = self._line(hall).peak(at_ms, math.inf), self.available(hall)
+            booked = self._booked.get(hall, 0.0)
+            said = f"{peak:g} units a second promised, {free:g} may be"
+            self._rules.check(Rule.CONTRACTS_FIT, peak <= max(free, booked) + 1e-6, lambda said=said: said)  # type: ignore
+            self._booked[hall] = min(booked, peak) if peak > free else 0.0
+
+    def _change(self, at_ms: float, name: str, terms: Terms | None, holds_from: float) -> Applied:
+        found = self.held.get(name)
+        if found is None:
+            return Applied(error=NotThere(name, "no such contract is known"))
+        old = found.newest
+        if found.cancelled or found.state in (S.SETTLED, S.REFUSED) or old.times[-1][1] <= at_ms:
+            return Applied(error=WrongState(name, f"it is {'cancelled' if found.cancelled else found.state.value}"))
+        if len(found.versions) > 1:
+            return Applied(error=WrongState(name, "the change before is not through yet"))
+        if holds_from < at_ms + 2 * self.tail - EDGE:
+            return Applied(error=BadCall(name, f"holds_from_ms: expected {2 * self.tail:.0f} ms ahead at the least"))
+        if terms is not None and (terms.tenant, terms.hall) != (old.terms.tenant, old.terms.hall):
+            return Applied(error=BadCall(name, "tenant: it stays, and the hall as well"))
+        times = spans(terms.windows) if terms is not None else []
+        if terms is not None and times[-1][1] <= holds_from:
+            return Applied(error=BadCall(name, "windows: expected one that ends behind holds_from_ms"))
+        coming = Version(self.made + 1, terms or old.terms, times, holds_from)
+        before = found.pieces(self.tail)
+        more = [one for one in Contract(name, [old, coming]).pieces(self.tail) if one[2] > _height(before, one[0]) + EDGE]
+        if terms is not None and more and (refused := self._refuse(at_ms, name, more, terms)) is not None:
+            return Applied(error=refused)
+        found.versions.append(coming)
+        self.made += 1
+        self.known += 1
+        if terms is None:
+            found.cancelled = True
+            found.step(E.CANCEL)
+        return Applied(self._told_of(found))
+
+    def _told(self, at_ms: float, command: Told) -> Applied:
+        found = self.held.get(command.contract)
+        if found is None:
+            return Applied(error=NotThere(command.contract, "no such contract is known"))
+        if command.version > found.newest.number:
+            return Applied(error=WrongState(command.contract, f"version {command.version} is not known here"))
+        if command.version > found.told:
+            found.told = command.version
+            if len(found.versions) > 1 and command.version == found.newest.number:
+                del found.versions[0]
+            self.known += 1
+            self._move(at_ms, found)
+        return Applied()
+
+    def _short(self, at_ms: float, command: Short) -> Applied:
+        found = self.held.get(command.contract)
+        if found is None:
+            return Applied(error=NotThere(command.contract, "no such contract is known"))
+        told = found.short.setdefault(command.cause, {})
+        more = command.units - told.get(command.by, 0.0)
+        if command.by not in told and sum(map(len, found.short.values())) >= MOST_REPORTERS:
+            return Applied(error=Crowded(command.contract, f"{MOST_REPORTERS} reports are counted already"))
+        if more <= 0.0:
+            return Applied()
+        told[command.by] = command.units
+        found.since_ms = min(found.since_ms or math.inf, command.since_ms)
+        found.last_short_ms = at_ms
+        found.step(E.SHORT)
+        return Applied()
+
+    def _capacity(self, at_ms: float, command: Capacity) -> Applied:
+        self.capacity, self.reserve, self.floor = command.units, command.reserve, command.floor
+        self.halls = dict(sorted(command.halls.items()))
+        self.stated += 1
+        # What was promised stays promised: it is for `fleet.share` to say who goes first, and nothing new is admitted.
+        self._booked = {hall: self._line(hall).peak(at_ms, math.inf) for hall in ("", *self.halls)}
+        return Applied({"available": self.available(), "over": max(self._booked[""] - self.available(), 0.0)})
+
+    def _move(self, at_ms: float, one: Contract) -> None:
+        """Go on by time, as far as it has come."""
+        while self._step(at_ms, one):
+            pass
+
+    def _step(self, at_ms: float, one: Contract) -> bool:
+        step = self._due(at_ms, one)
+        return step is not None and one.step(step)
+
+    def _due(self, at_ms: float, one: Contract) -> Step | None:
+        """The step that time asks for, if the table has one."""
+        times = one.at(at_ms).times
+        turn = bisect_right(times, at_ms, key=lambda span: span[1])
+        now = times[turn] if turn < len(times) else None  # the window in force, or the next
+        if one.state is S.ADMITTED:
+            if now is None:
+                return E.END
+            return E.ARM if one.told and at_ms >= now[0] - ARM_MS else None
+        if one.state in (S.ARMED, S.ACTIVE, S.BREACHED):
+            if now is None or at_ms < now[0] - ARM_MS:
+                return E.END
+            if one.state is S.ARMED:
+                return E.BEGIN if at_ms >= now[0] else None
+            if at_ms < now[0]:
+                return E.END
+            return E.CURE if one.state is S.BREACHED and at_ms >= one.last_short_ms + CURED_MS else None
+        if one.state is S.CLOSING:
+            if one.cancelled:
+                return E.SETTLE if one.told == one.newest.number else None
+            if now is not None:
+                return E.AGAIN
+            if len(one.versions) == 1 and at_ms >= (times[-1][1] if times else 0.0) + self.tail:
+                return E.SETTLE
+        return None
+
+    def _tidy(self) -> None:
+        """Forget the oldest of the settled."""
+        settled = [name for name, one in self.held.items() if one.state is S.SETTLED]
+        for name in settled[:max(len(settled) - MOST_SETTLED, 0)]:
+            del self.held[name]
+
+    def work(self, view: View) -> list[Command]:
+        """Let the tenants' groups know of versions, time go on, and the capacity be what this gateway knows."""
+        made: list[Command] = []
+        units = view.load.get("capacity", 0.0)
+        if units > 0.0 and abs(units - self.capacity) > 0.02 * self.capacity:
+            reserve = view.load.get("reserve", 1.0 / max(len(view.halls), 2))
+            made.append(Capacity(id=f"capacity/{self.stated}", units=units, reserve=reserve,
+                                 floor=view.load.get("floor", OTHERS_FLOOR * units)))
+        if any(self._due(view.wall, one) is not None for one in self.held.values()):
+            made.append(Pass(id="pass"))
+        wanted = {f"open/{one.name}/{version.number}": (one.name, version) for one in self.held.values()
+                  if one.state not in (S.SETTLED, S.REFUSED)
+                  for version in one.versions if version.number > one.told}
+        for asked in due(self._asked, wanted, view.now):
+            name, last = wanted[asked]
+            made.append(Open(id=asked, tenant=last.terms.tenant, contract=name, version=last.number,
+                             rate=last.terms.rate, burst=last.terms.burst, times=tuple(last.times),
+                             holds_from_ms=last.holds_from))
+        return made
+
+    def seen(self, now: float) -> None:
+        """Nothing here ends by this machine's clock."""
+
+    def _facts(self, one: Contract) -> dict[str, Any]:
+        last = one.newest.terms
+        return {"contract": one.name, "tenant": last.tenant, "rank": last.rank, "hall": last.hall,
+                "surplus": last.surplus, "told": one.told,
+                "versions": [{"version": v.number, "customers": list(v.terms.customers), "rate": v.terms.rate,
+                              "burst": v.terms.burst, "times": [list(span) for span in v.times],
+                              "holds_from_ms": v.holds_from} for v in one.versions]}
+
+    def _told_of(self, one: Contract) -> dict[str, Any]:
+        return {"contract": one.name, "state": one.state.value, "version": one.newest.number, "told": one.told,
+                "holds_from_ms": one.newest.holds_from, "terms": msgspec.to_builtins(one.newest.terms),
+                "cancelled": one.cancelled, "since_ms": one.since_ms,
+                "short": {cause: sum(by.values()) for cause, by in one.short.items()}}
+
+    def dump(self) -> Any:
+        """See fleet.part."""
+        figures, counts = [self.capacity, self.reserve, self.floor], [self.made, self.stated, self.known]
+        return [figures, self.halls, counts, self._booked, [
+            [one.name, one.state.value, one.told, one.cancelled, one.short, one.since_ms, one.last_short_ms,
+             [[v.number, msgspec.to_builtins(v.terms), v.times, v.holds_from] for v in one.versions]]
+            for one in self.held.values()]]
+
+    def load(self, raw: Any) -> None:
+        """See fleet.part."""
+        figures, self.halls, counts, self._booked, held = raw
+        self.capacity, self.reserve, self.floor = figures
+        self.made, self.stated, self.known = counts
+        self.held, self._asked = {}, {}
+        for name, state, told, cancelled, short, since, last, versions in held:
+            self.held[name] = Contract(name, [
+                Version(number, msgspec.convert(terms, Terms), [(a, b) for a, b in times], holds_from)
+                for number, terms, times, holds_from in versions], State(state), told, cancelled, short, since, last)
+
+
+def due(asked: dict[str, tuple[float, float]], wanted: Iterable[str], now: float) -> Iterator[str]:
+    """Which askings of another group are due, each again after a pause that doubles; what is not wanted is forgotten."""
+    kept = {one: asked.get(one, (now, OPEN_MS)) for one in wanted}
+    asked.clear()
+    for one, (at, pause) in kept.items():
+        if now >= at:
+            yield one
+            asked[one] = now + pause, min(2 * pause, AGAIN_MS)
+        else:
+            asked[one] = at, pause
+
+
+# The tenant's group --------------------------------------------------------------------------------------------------
+
+
+@dataclass(slots=True)
+class Floor:
+    """One contract as its tenant's group holds it."""
+
+    tenant: str
+    version: int
+    rate: float
+    times: list[Span]
+    parts: Divided
+    coming: Open | None = None
+    switch: int = 0  # the last lease's number when this version came into force
+    answers: dict[Id, tuple[str, Any]] = field(default_factory=dict)  # the last call of each holder, for a repeat
+
+    def through(self) -> bool:
+        """Whether no lease of a version before is left."""
+        held = self.parts.held.values()
+        return self.parts.granted() <= self.parts.aim + 1e-6 and all(one.number > self.switch for one in held)
+
+
+class Floors:
+    """The part of a tenants' group that divides their contracts over the gateways."""
+
+    def __init__(self, timings: Timings, rules: Invariants) -> None:
+        self._timings, self._rules = timings, rules
+        self.held: dict[str, Floor] = {}
+        self.last = 0  # number of the last lease of any contract: one that comes back does not begin at 1 again
+        self._told: dict[str, tuple[float, float]] = {}
+        self._fresh: set[str] = set()  # with leases that no clock has seen yet
+
+    def apply(self, at_ms: float, command: Any) -> Applied:
+        """See fleet.part."""
+        if said := command.fault():
+            return Applied(error=BadCall(command.contract, said))
+        if isinstance(command, Open):
+            return self._open(at_ms, command)
+        found = self.held.get(command.contract)
+        if found is None:
+            return Applied(error=NotThere(command.contract, "no such contract is open here"))
+        self._turn(at_ms, found)
+        if isinstance(command, EndLease):
+            ended = found.parts.end(command.holder, command.number)
+            if ended:
+                found.answers.pop(command.holder, None)
+            return Applied(ended)
+        if isinstance(command, Lease):
+            return self._lease(at_ms, found, command)
+        if isinstance(command, TurnFloor):
+            return Applied(found.version)
+        return Applied(error=BadCall("floors", f"unknown command {type(command).__name__}"))
+
+    def _open(self, at_ms: float, command: Open) -> Applied:
+        for name in [name for name, one in self.held.items() if self._past(at_ms, one)]:
+            del self.held[name]
+        found = self.held.get(command.contract)
+        if found is None:
+            if len(self.held) >= MOST_FLOORS:
+                return Applied(error=Crowded(command.contract, f"{MOST_FLOORS} contracts are open in this group"))
+            found = self.held[command.contract] = Floor(command.tenant, 0, 0.0, [], Divided(0.0, 0.0, even=False))
+        self._turn(at_ms, found)
+        if command.version > found.version:
+            if at_ms >= command.holds_from_ms:
+                self._take(found, command)
+            elif found.coming is None or command.version > found.coming.version:
+                found.coming = command
+        return Applied(found.version)
+
+    def _past(self, at_ms: float, one: Floor) -> bool:
+        """Whether the last window is over and the last lease as well."""
+        last = one.times[-1][1] if one.times else 0.0
+        return one.coming is None and not one.parts.held and at_ms > last + 10 * self._timings.outlast()
+
+    def _turn(self, at_ms: float, one: Floor) -> None:
+        """A version that is coming holds from its moment."""
+        if one.coming is not None and at_ms >= one.coming.holds_from_ms:
+            self._take(one, one.coming)
+
+    def _take(self, one: Floor, opened: Open) -> None:
+        first = one.version == 0
+        one.version, one.rate, one.times, one.tenant = opened.version, opened.rate, list(opened.times), opened.tenant
+        one.parts.resize(opened.rate if opened.times else 0.0, opened.burst)
+        if first:
+            one.parts.free = opened.burst
+        if one.coming is not None and one.coming.version <= opened.version:
+            one.coming = None
+        one.switch = self.last
+
+    def _lease(self, at_ms: float, found: Floor, command: Lease) -> Applied:
+        known = found.answers.get(command.holder)
+        if known is not None and known[0] == command.id:
+            return Applied(known[1])
+        span = next((span for span in found.times if span[0] - EARLY_MS <= at_ms < span[1]), None)
+        # Outside of a window nothing is granted; what a holder says that it keeps counts until it is told better.
+        wish, soft = (min(command.wish, found.parts.aim), command.soft) if span is not None else (0.0, False)
+        found.parts.last = self.last
+        given = found.parts.ask(command.holder, command.number, command.keep, wish, command.room, self._rules,
+                                command.hold, command.need, soft)
+        if not isinstance(given, Grant):
+            return Applied(error=given)
+        if given.number:
+            self._rules.check(Rule.LEASE_ONCE, given.number > self.last,
+                              lambda: f"{command.contract}: lease {given.number} was given before")
+            self.last = given.number
+            self._fresh.add(command.contract)
+        until, then = self._until(found, span) if span is not None else (0.0, 0.0)
+        value = {"number": given.number, "part": given.part, "room": given.room, "cap": given.cap, "fair": given.fair,
+                 "fair_cap": given.fair_cap, "spare": given.spare, "holders": given.holders, "version": found.version,
+                 "from_ms": span[0] if span is not None else 0.0, "until_ms": until, "then": then}
+        if given.number:
+            found.answers[command.holder] = command.id, value
+        else:
+            found.answers.pop(command.holder, None)
+        return Applied(value)
+
+    @staticmethod
+    def _until(found: Floor, span: Span) -> tuple[float, float]:
+        """The moment at which a lease changes by itself, and by what factor: a window's end, or a version's moment."""
+        coming = found.coming
+        if coming is None or coming.holds_from_ms >= span[1]:
+            return span[1], 0.0
+        at = coming.holds_from_ms
+        on = any(begin <= at < end for begin, end in coming.times)
+        return at, min(coming.rate / found.rate, 1.0) if on else 0.0
+
+    def work(self, view: View) -> list[Command]:
+        """End what is over by this machine's clock; say which versions hold."""
+        self.seen(view.now)
+        made: list[Command] = [
+            EndLease(id=f"end/{name}/{number}", tenant=one.tenant, contract=name, holder=who, number=number)
+            for name, one in self.held.items()
+            for who, number in one.parts.over(view.now, self._timings.outlast(), view.lead_since)]
+        wanted = {f"told/{name}/{one.version}": (name, one)
+                  for name, one in self.held.items() if one.version and one.through()}
+        made += [Told(id=asked, contract=wanted[asked][0], version=wanted[asked][1].version)
+                 for asked in due(self._told, wanted, view.now)]
+        for one in self.held.values():  # a version whose moment has come, though nobody asks for a part
+            if one.coming is not None and view.wall >= one.coming.holds_from_ms:
+                made.append(TurnFloor(id="turn", tenant=one.tenant, contract=one.coming.contract))
+        return made
+
+    def seen(self, now: float) -> None:
+        """See fleet.part."""
+        for name in self._fresh:
+            if name in self.held:
+                self.held[name].parts.seen(now)
+        self._fresh.clear()
+
+    def told(self) -> dict[str, Any]:
+        """For operators: what is granted of each contract, to how many."""
+        return {name: {"version": one.version, "rate": one.rate, "granted": one.parts.granted(),
+                       "holders": len(one.parts.held)} for name, one in self.held.items()}
+
+    def dump(self) -> Any:
+        """See fleet.part."""
+        return [self.last, [[name, one.tenant, one.version, one.rate, one.times, one.parts.dump(),
+                             msgspec.to_builtins(one.coming), one.switch, one.answers]
+                            for name, one in self.held.items()]]
+
+    def load(self, raw: Any) -> None:
+        """See fleet.part."""
+        self.last, self.held, self._told = raw[0], {}, {}
+        for name, tenant, version, rate, times, parts, coming, switch, answers in raw[1]:
+            self.held[name] = Floor(tenant, version, rate, [(a, b) for a, b in times], Divided.load(parts),
+                                    msgspec.convert(coming, Open | None), switch,
+                                    {who: (asked, value) for who, (asked, value) in answers.items()})
+        self._fresh = set(self.held)
