--- a/lab/stage/links.py
+++ b/lab/stage/links.py
@@ -11,6 +11,8 @@
 
 import asyncio
 import random
+import socket
+import struct
 from collections import deque
 from dataclasses import dataclass
 
@@ -78,7 +80,7 @@
             elif fault.word == "delay":
                 way.delay_ms = fault.amount
             elif fault.word == "narrow":
-                way.bytes_s = fault.amount
+                way.bytes_s = fault.amount * 1000.0
             else:
                 way.resets = fault.amount
                 self._time_reset(key)
@@ -103,7 +105,7 @@
     def _reset(self, key: tuple[int, int]) -> None:
         for pair in list(self.open):
             if (pair.caller, pair.called) == key:
-                pair.end()
+                pair.end(reset=True)
         self._time_reset(key)
 
     def joined(self, first: int, second: int) -> bool:
@@ -143,12 +145,14 @@
         except (OSError, TimeoutError):
             self.end()
 
-    def end(self) -> None:
-        """Break both halves off."""
+    def end(self, reset: bool = False) -> None:
+        """Break both halves off; with a reset, both ends hear an error instead of an end."""
         self.ended = True
         self.owner.open.pop(self, None)
         for end in self.ends:
             if end is not None and end.transport is not None:
+                if reset and (sock := end.transport.get_extra_info("socket")) is not None:
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
                 end.transport.abort()
 
 
@@ -232,7 +236,8 @@
 
     def eof_received(self) -> bool:
         """The other end hears of it behind all that was said, and nothing through a cut."""
-        self._finished = not (self._way.cut or self.gap)
+        self.gap = self.gap or self._way.cut
+        self._finished = not self.gap
         self.forward()
         return True
 
--- a/lab/text/scenario.py
+++ b/lab/text/scenario.py
@@ -229,7 +229,7 @@
 FAULTS = ("kill", "start", "freeze", "thaw", "slow", "split", "heal", "swap", "restore", "spoil", "spike", "cut",
           "delay", "reset", "narrow", "mend", "lose", "step", "fill", "empty")
 PLAIN = ("kill", "start")  # what can be done to a gateway without a fleet
-TO_GATEWAY = (*PLAIN, "lose", "freeze", "thaw", "spoil", "step", "fill", "empty")  # the last two: its disk
+TO_GATEWAY = (*PLAIN, "lose", "freeze", "thaw", "spoil", "step", "fill", "empty")  # the last two: its disk, full or not
 TO_GATEWAYS = ("cut", "delay", "reset", "narrow", "mend")
 COPIES = (1, 3, 5)
 Named = TypeVar("Named", ContractText, RollText)
@@ -321,8 +321,8 @@
         return replace(_ended(form, made, 5 if rest else 4), groups=groups, mode=mode)
     if form.head == "delay":
         amount = _quantity(form, 4, "time", 0.0, 60_000.0).least
-    elif form.head == "narrow":  # to so many bytes a second
-        amount = _quantity(form, 4, "rate", 1.0).least
+    elif form.head == "narrow":  # to so many bytes a second; kept a ms
+        amount = _quantity(form, 4, "rate", 1.0).least / 1000.0
     else:
         amount = _quantity(form, 4, "rate", 0.001, 1000.0).least
     return replace(_ended(form, made, 5), groups=groups, amount=amount)
@@ -353,7 +353,14 @@
         if form.head == "step":
             amount = _quantity(form, 3, "time", -1e9).least
             return replace(_ended(form, made, 4), groups=((number,),), amount=amount)
-        return replace(_ended(form, made, 3), groups=((number,),))
+        made = replace(made, groups=((number,),))
+        if form.head in ("fill", "empty"):
+            made = replace(made, word="full", amount=float(form.head == "fill"))
+        if form.head in ("kill", "lose", "spoil") and len(rest) > 1:
+            _needs_fleet(form, "when-whole", fleet)
+            _word(form, 3, ["when-whole"])
+            return replace(_ended(form, made, 4), mode="whole")
+        return _ended(form, made, 3)
     if form.head in (*TO_GATEWAYS, "lose", "step", "fill", "empty"):
         raise _fault(form, f"{form.head} cannot be done to {target}; it is done to "
                            f"{'gateways' if form.head in TO_GATEWAYS else 'a gateway'}")
--- /dev/null
+++ b/tests/test_fleet_stage.py
@@ -0,0 +1,218 @@
+"""The laboratory's fleet: its words, its links, the book of promises, and real processes with faults between them."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+
+import pytest
+
+from lab.stage.links import Links
+from lab.stage.promises import NOBODY, UNKNOWN, Book, read_answer
+from lab.text.scenario import Fault, parse
+from lab.text.sexpr import TextError
+
+FLEET = "(gateways 5 (fleet on) (copies 3) (halls 2))"
+LOAD = "(plan p (rate 5/s) (burst 10u)) (customers 4 (plan p))"
+
+
+# The language -------------------------------------------------------------------------------------------
+
+
+def test_a_fleets_text_says_all_that_it_can_say() -> None:
+    made = parse(f"""(scenario a {FLEET} (servers 8 (work 30ms..90ms) (connections 24)) {LOAD} (proposals 40/s)
+        (contract peak (customers 1..3) (rate 60/s) (burst 30u) (from 5s) (to 30s) (importance 2))
+        (roll nightly (from 10s) (gateways 1 2 5) (at-once 2))
+        (at 1s (cut gateways (1 2) (3 4 5)) (cut gateways (1) (2 3) one-way) (delay gateways (1) (2) 400ms))
+        (at 2s (reset gateways (1) (2) 2/s) (narrow gateways (1) (2) 8000/s) (mend gateways))
+        (at 3s (lose gateway 2 when-whole) (start gateway 2) (freeze gateway 3) (thaw gateway 3))
+        (at 4s (spoil gateway 4) (step gateway 5 -30s) (fill gateway 1) (empty gateway 1)))""")
+    assert (made.fleet, made.copies, made.halls, made.connections, made.proposals) == (True, 3, 2, 24, 40.0)
+    contract, roll = made.contracts[0], made.rolls[0]
+    assert (contract.customers, contract.rate, contract.burst, contract.importance) == ((1, 3), 60.0, 30.0, 2)
+    assert (contract.from_ms, contract.to_ms) == (5000.0, 30_000.0)
+    assert (roll.name, roll.from_ms, roll.gateways, roll.at_once) == ("nightly", 10_000.0, (1, 2, 5), 2)
+    assert [(one.word, one.groups, one.amount, one.mode) for one in made.faults] == [
+        ("cut", ((1, 2), (3, 4, 5)), 0.0, ""), ("cut", ((1,), (2, 3)), 0.0, "one-way"),
+        ("delay", ((1,), (2,)), 400.0, ""), ("reset", ((1,), (2,)), 2.0, ""), ("narrow", ((1,), (2,)), 8.0, ""),
+        ("mend", (), 0.0, ""), ("lose", ((2,),), 0.0, "whole"), ("start", ((2,),), 0.0, ""),
+        ("freeze", ((3,),), 0.0, ""), ("thaw", ((3,),), 0.0, ""), ("spoil", ((4,),), 0.0, ""),
+        ("step", ((5,),), -30_000.0, ""), ("full", ((1,),), 1.0, ""), ("full", ((1,),), 0.0, "")]
+
+
+@pytest.mark.parametrize(("rest", "at", "words"), [
+    ("(gateways 5) (proposals 40/s)", "(proposals", ("proposals", "(fleet on)")),
+    (f"(gateways 5 (copies 3)) {LOAD}", "(copies", ("copies", "(fleet on)")),
+    (f"(gateways 5) {LOAD} (at 1s (freeze gateway 1))", "(freeze", ("freeze", "(fleet on)")),
+    ("(gateways 5 (fleet on)) (propsals 40/s)", "propsals", ("propsals", "proposals")),
+    ("(gateways 5 (fleet on)) (proposals -4/s)", "-4/s", ("-4/s",)),
+    ("(gateways 5 (fleet on) (copies 4)) (proposals 4/s)", "4))", ("1, 3, 5",)),
+    ("(gateways 2 (fleet on)) (proposals 4/s)", "(scenario", ("3 copies", "2 gateways")),
+    ("(gateways 5 (fleet on))", "(scenario", ("needs", "(proposals ...)")),
+    ("(gateways 5 (fleet on)) (proposals 4/s) (at 1s (cut gateways (1) (1 2)))", "(cut", ("two groups",)),
+    ("(gateways 5 (fleet on)) (proposals 4/s) (at 1s (cut gateways (1) (6)))", "6)", ("1 to 5", "'6'")),
+    ("(gateways 5 (fleet on)) (proposals 4/s) (at 1s (cut gateways (1) (2) onway))", "onway", ("onway", "one-way")),
+    ("(gateways 5 (fleet on)) (proposals 4/s) (at 1s (delay gateways (1) (2) 2/s))", "2/s", ("time", "2/s")),
+    ("(gateways 5 (fleet on)) (proposals 4/s) (at 1s (reset gateways (1) (2)))", "(reset", ("rate", "missing")),
+    ("(gateways 5 (fleet on)) (proposals 4/s) (at 1s (step gateway 1 30))", "30)", ("time", "'30'")),
+    ("(gateways 5 (fleet on)) (proposals 4/s) (at 1s (losee gateway 1))", "losee", ("losee", "lose")),
+    ("(gateways 5 (fleet on)) (proposals 4/s) (at 1s (lose counter))", "(lose", ("lose", "a gateway")),
+    ("(gateways 5 (fleet on)) (proposals 4/s) (at 1s (mend gateways now))", "now", ("nothing more",)),
+    ("(gateways 5 (fleet on)) (proposals 4/s) (roll n (from 1s) (gateways 1 1))", "(gateways 1 1", ("once",)),
+    ("(gateways 5 (fleet on)) (proposals 4/s) (roll n (from 1s) (at-onc 1))", "at-onc", ("at-onc", "at-once")),
+    ("(gateways 5 (fleet on)) (proposals 4/s) (roll n (at-once 1))", "(roll", ("roll n", "from")),
+    (f"(gateways 5 (fleet on)) {LOAD} (contract c (customers 1..9) (rate 1/s) (burst 1u) (to 1s))", "1..9",
+     ("1..9", "1 to 4")),
+    (f"(gateways 5 (fleet on)) {LOAD} (contract c (customers 1) (rate 1/s) (burst 1u) (from 2s) (to 1s))", "(contract",
+     ("before it begins",)),
+    (f"(gateways 5 (fleet on)) {LOAD} (contract c (customers 1) (rate 0/s) (burst 1u) (to 1s))", "(contract",
+     ("(rate ...)",))])
+def test_a_wrong_word_of_a_fleet_is_told_by_column(rest: str, at: str, words: tuple[str, ...]) -> None:
+    with pytest.raises(TextError) as caught:
+        parse(text := f"(scenario a {rest})")
+    assert (caught.value.line, caught.value.column) == (1, text.index(at) + 1), str(caught.value)
+    assert all(word in str(caught.value) for word in words)
+
+
+# The links ----------------------------------------------------------------------------------------------
+
+
+@asynccontextmanager
+async def linked() -> AsyncIterator[tuple[Links, asyncio.StreamReader, asyncio.StreamWriter,
+                                          asyncio.StreamReader, asyncio.StreamWriter]]:
+    """Gateway 0 has called gateway 1: both ends."""
+    called: asyncio.Queue[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = asyncio.Queue()
+    server = await asyncio.start_server(lambda reader, writer: called.put_nowait((reader, writer)), "127.0.0.1", 0)
+    links = Links(2, random.Random(1))
+    links.targets = {1: server.sockets[0].getsockname(), 0: ("127.0.0.1", 1)}
+    await links.listen()
+    near = await asyncio.open_connection("127.0.0.1", links.ports[0, 1])
+    near[1].write(b"hello")
+    far = await called.get()
+    assert await far[0].readexactly(5) == b"hello"
+    try:
+        yield links, *near, *far
+    finally:
+        for writer in (near[1], far[1]):
+            writer.transport.abort()
+        links.close()
+        server.close()
+
+
+def play(test: Callable[[], Awaitable[None]]) -> None:
+    async def bounded() -> None:
+        await asyncio.wait_for(test(), 30.0)
+    asyncio.run(bounded())
+
+
+def fault(word: str, amount: float = 0.0, mode: str = "") -> Fault:
+    return Fault(0.0, word, "gateways", ((1,), (2,)), amount, mode)
+
+
+def test_a_one_way_cut_swallows_one_way_and_breaks_off_when_mended() -> None:
+    async def test() -> None:
+        async with linked() as (links, near, say, far, back):
+            links.happen(fault("cut", mode="one-way"))
+            say.write(b"lost")
+            back.write(b"heard")
+            assert await near.readexactly(5) == b"heard"
+            while links.ways[0, 1].lost < 4:
+                await asyncio.sleep(0.001)
+            links.mend()
+            assert await far.read() == b"" and await near.read() == b""  # behind the gap nothing is said
+
+    play(test)
+
+
+def test_a_cut_keeps_new_connections_and_the_end_of_old_ones_away() -> None:
+    async def test() -> None:
+        async with linked() as (links, _near, say, far, back):
+            links.happen(fault("cut"))
+            say.write_eof()
+            _, again = await asyncio.open_connection("127.0.0.1", links.ports[0, 1])
+            again.write(b"anyone?")
+            while links.ways[0, 1].lost < 7:
+                await asyncio.sleep(0.001)
+            assert len(links.open) == 2 and not far.at_eof() and not back.is_closing()
+            links.mend()
+            assert await far.read() == b"" and not links.open
+            again.transport.abort()
+
+    play(test)
+
+
+def test_a_delay_keeps_the_order_and_a_reset_breaks_off() -> None:
+    async def test() -> None:
+        async with linked() as (links, near, say, far, _back):
+            loop = asyncio.get_running_loop()
+            links.happen(fault("delay", 60.0))
+            begun = loop.time()
+            say.write(b"first")
+            await say.drain()
+            say.write(b"second")
+            assert await far.readexactly(11) == b"firstsecond"
+            assert loop.time() - begun >= 0.059
+            links.happen(fault("reset", 50.0))
+            with pytest.raises(ConnectionResetError):
+                await near.read()
+
+    play(test)
+
+
+def test_a_narrow_way_takes_its_time_and_holds_no_more_than_its_bound() -> None:
+    async def test() -> None:
+        async with linked() as (links, _near, say, far, _back):
+            links.happen(fault("narrow", 2000.0))  # 2 MB a second
+            say.write(b"x" * 300_000)
+            begun = asyncio.get_running_loop().time()
+            assert len(await far.readexactly(300_000)) == 300_000
+            assert asyncio.get_running_loop().time() - begun >= 0.14
+
+    play(test)
+
+
+def test_whoever_closes_is_heard() -> None:
+    async def test() -> None:
+        async with linked() as (links, near, say, far, back):
+            say.write(b"bye")
+            say.close()
+            assert await far.read() == b"bye"
+            back.close()
+            await near.read()
+            while links.open:
+                await asyncio.sleep(0.001)
+
+    play(test)
+
+
+# The book -----------------------------------------------------------------------------------------------
+
+
+def test_the_book_counts_what_was_acknowledged_lost_and_done_twice() -> None:
+    book = Book()
+    for name in ("a", "b", "c", "d"):
+        book.began(0.0, name)
+    book.ended(10.0, "a", "1", (None, ""))
+    book.ended(30.0, "b", "2", ("2", ""))  # its own value was there before it
+    book.ended(40.0, "c", "3", (None, UNKNOWN))
+    book.ended(50.0, "d", "4", (None, "no-room"))
+    book.began(100.0, "e")
+    book.began(120.0, "f")
+    book.ended(700.0, "f", "6", (None, ""))
+    book.excuse(1700.0)
+    book.finish(1800.0)
+    assert (book.longest_ms, book.longest_at) == (600.0, 100.0)
+    for name, answer in (("a", ("1", "")), ("b", (None, "")), ("f", (None, UNKNOWN))):
+        book.read(name, answer)
+    assert (book.twice, book.lost, book.unread, book.unknown) == ({"b"}, {"b"}, {"f"}, {"c"})
+    assert book.refused == {"no-room": 1} and len(book.acknowledged) == 3
+
+
+@pytest.mark.parametrize(("said", "answer"), [
+    (b'+OK {"a": 1}\n', ({"a": 1}, "")), (b"+OK\n", (None, "")), (b"", (None, UNKNOWN)),
+    (b'-ERR {"error": "no-leader", "whom": "x"}\n', (None, "no-leader")),
+    (b"-ERR unknown call; known are STATUS\n", (None, "unknown call; known are STATUS"))])
+def test_an_answer_is_read(said: bytes, answer: object) -> None:
+    assert read_answer(said) == answer and NOBODY != UNKNOWN
