Place the copies of groups, and make lost ones again through the log

A lost machine's copies have to come back by themselves, one at a time for a group and at a bounded pace over the fleet. Placing is a part of the fleet's group: enrol, begin a move, note what a group's leader reports; each leader carries out the one change that is wanted next. A group whose majority is gone for good can be restarted by a stated act.

--- /dev/null
+++ b/fleet/groups.py
@@ -0,0 +1,470 @@
+"""Which group holds a key, who copies which group, and how a lost copy is made again.
+
+Keys are cut into groups by rendezvous hashing (Thaler and Ravishankar, "Using name-based mappings to increase hit
+rates", 1998) with xxhash.  The founding record gives the first copies; from there on `Placing`, a part of the fleet's
+own group, holds who copies what, and every change is an entry of its log:
+
+    Enrol    an Id is its name's present one; the one before is lost for good
+    Replace  begins a move of one copy: the group's leader takes `new` in and lets `lost` go (either may be empty)
+    Moved    a group's leader reports its voters; the move is over when `new` is among them and `lost` is not
+    Forgo    a move that cannot be ended is given up; whoever was taken in as a learner goes again
+
+A group's leader does nothing but `wanted`: learn, wait until it has caught up, promote, remove the lost.  So a group has
+one voter too many for a moment and never one too few, and a removal that would leave fewer living voters than a majority
+waits.  Opinions of membership only decide what the leader of the fleet's group *proposes*.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import Counter
+from functools import lru_cache
+from typing import Any
+
+import msgspec
+import xxhash
+
+from fleet.errors import BadCall, Crowded, NotThere, StaleIncarnation, WrongState
+from fleet.events import Change, Saved
+from fleet.founding import MOST_MEMBERS, Record
+from fleet.invariants import Invariants, Rule
+from fleet.log import Log, encode_config
+from fleet.messages import CONFIG, NOTHING, Config, Entry, Id, name_of
+from fleet.part import FLEET, Applied, Command, View
+from fleet.timings import Timings
+
+LONGEST_NAME = 64
+MOST_PAST = 4  # earlier Ids remembered of a name: none of them can come back
+LONGEST_MOVE_MS = 60_000.0  # a newcomer that takes longer to catch up is given up, and not asked again for as long
+FORCED_TERMS = 1 << 20  # a forced group's term goes on by so much: no member given up can have reached it
+
+
+def _score(one: str, other: str) -> int:
+    return xxhash.xxh3_64_intdigest(f"{one}\0{other}".encode())
+
+
+@lru_cache(maxsize=8192)
+def group_of(key: str, count: int) -> str:
+    """The group of a command's key: "" is the fleet's own, anything else one of "g0" to "g(count - 1)".
+
+    The key's first letter, its kind, does not count.  One group more moves 1 / (count + 1) of the keys."""
+    if not key:
+        return FLEET
+    return max((f"g{at}" for at in range(count)), key=lambda group: _score(group, key[1:]))
+
+
+def copies_for(copies: int, members: int) -> int:
+    """Copies that a group has: an odd number within `copies` and the members there are; both, where there are two."""
+    most = min(copies, members)
+    return most if most % 2 or most == 2 else most - 1
+
+
+def first_placing(record: Record) -> dict[str, tuple[Id, ...]]:
+    """Voters of each group at the founding: a hall that has none yet first, then who holds least; hashing breaks ties.
+
+    Within a hall nobody holds over one group more than another that could have taken it."""
+    count, load = copies_for(record.copies, len(record.members)), Counter[Id]()
+    placed: dict[str, tuple[Id, ...]] = {}
+    for group in (FLEET, *(f"g{at}" for at in range(record.groups))):
+        chosen: list[Id] = []
+        halls: set[str] = set()
+        for _ in range(count):
+            who, hall = min(((who, hall) for who, hall in record.members if who not in chosen),
+                            key=lambda one: (one[1] in halls, load[one[0]], -_score(group, one[0])))
+            chosen.append(who)
+            halls.add(hall)
+            load[who] += 1
+        placed[group] = tuple(chosen)
+    return placed
+
+
+# What the log of the fleet's group takes ------------------------------------------------------------------------------
+
+
+class Enrol(Command, frozen=True):
+    """An Id is its name's present one."""
+
+    name: str
+    who: Id
+    hall: str
+
+    def fault(self) -> str:
+        if not 1 <= len(self.name) <= LONGEST_NAME or len(self.hall) > LONGEST_NAME:
+            return f"name, hall: expected up to {LONGEST_NAME} letters"
+        if name_of(self.who) != self.name or not len(self.name) + 1 < len(self.who) <= 2 * LONGEST_NAME:
+            return f"who: expected {self.name}/INCARNATION"
+        return ""
+
+
+class Replace(Command, frozen=True):
+    """Begin a move: `new` for `lost`; one of them may be empty.  `most` moves may be under way with it."""
+
+    group: str
+    lost: Id
+    new: Id
+    most: int
+
+    def fault(self) -> str:
+        if self.lost == self.new:
+            return "lost, new: expected two, or one and nothing"
+        return "" if self.most >= 1 else "most: expected 1 at the least"
+
+
+class Moved(Command, frozen=True):
+    """A group's voters, as its leader has them committed; `number`: the index of that configuration in its log."""
+
+    group: str
+    voters: tuple[Id, ...]
+    number: int
+    behind: tuple[Id, ...] = ()  # voters that have not caught up
+
+    def fault(self) -> str:
+        return "" if 1 <= len(self.voters) <= 16 and self.number >= 0 else "voters, number: out of bounds"
+
+
+class Forgo(Command, frozen=True):
+    """Give a move up."""
+
+    group: str
+    new: Id
+    why: str
+
+
+class Places(Command, frozen=True):
+    """Read who copies what."""
+
+    reads = True
+
+
+COMMANDS: tuple[type[Command], ...] = (Enrol, Replace, Moved, Forgo, Places)
+
+
+class Move(msgspec.Struct, frozen=True, array_like=True):
+    """A copy on its way, since when by the group's time (Unix ms)."""
+
+    lost: Id
+    new: Id
+    since: float = 0.0
+
+
+class Held(msgspec.Struct, frozen=True, array_like=True):
+    """A group, as its leader last reported it."""
+
+    voters: tuple[Id, ...]
+    number: int = 0
+    behind: tuple[Id, ...] = ()
+    reports: int = 0
+
+
+class Placing:
+    """Who copies which group.  Empty until `begin` or `load`."""
+
+    def __init__(self, timings: Timings, rules: Invariants) -> None:
+        self._timings, self._rules = timings, rules
+        self.copies = 0  # as the founding record asks for
+        self.members: dict[str, tuple[Id, str]] = {}  # by name: its present Id, and its hall
+        self.past: dict[str, list[Id]] = {}  # by name: Ids that are lost for good
+        self.groups: dict[str, Held] = {}
+        self.moves: dict[str, Move] = {}  # by group
+        self.begun = 0  # moves ever begun
+        self.slow: dict[Id, float] = {}  # who did not catch up in time, and when that was given up (Unix ms)
+
+    def begin(self, record: Record) -> None:
+        """As founded: the same at every copy, before any entry is applied.  Changes nothing where there is state."""
+        if self.groups:
+            return
+        self.copies = record.copies
+        self.members = {name_of(who): (who, hall) for who, hall in record.members}
+        self.groups = {group: Held(voters) for group, voters in first_placing(record).items()}
+
+    # The log ---------------------------------------------------------------------------------------------------------
+
+    def apply(self, at_ms: float, command: Any) -> Applied:
+        """Take a command in."""
+        problem = command.fault()
+        if problem:
+            return Applied(error=BadCall(command.id, problem))
+        if isinstance(command, Enrol):
+            return self._enrol(command)
+        held = self.groups.get(command.group)
+        if held is None:
+            return Applied(error=NotThere(command.group, "no such group"))
+        if isinstance(command, Replace):
+            return self._replace(at_ms, command, held)
+        if isinstance(command, Moved):
+            return self._moved(command, held)
+        move = self.moves.get(command.group)
+        if move is None or move.new != command.new:
+            return Applied(error=WrongState(command.group, "no such move is under way"))
+        del self.moves[command.group]
+        if command.new:
+            self.slow[command.new] = at_ms
+        return Applied("forgone")
+
+    def _enrol(self, command: Enrol) -> Applied:
+        known = self.members.get(command.name)
+        if command.who in self.past.get(command.name, ()):
+            return Applied(error=StaleIncarnation(command.who, "a later one is enrolled"))
+        if known is None and len(self.members) >= MOST_MEMBERS:
+            return Applied(error=Crowded(command.who, f"{MOST_MEMBERS} members are enrolled"))
+        if known is not None and known[0] != command.who:
+            self.slow.pop(known[0], None)
+            self.past[command.name] = [*self.past.get(command.name, ()), known[0]][-MOST_PAST:]
+            for group in [group for group, move in self.moves.items() if move.new == known[0]]:
+                if known[0] not in self.groups[group].voters:  # it was to come in and is no more
+                    del self.moves[group]
+        self.members[command.name] = command.who, command.hall
+        return Applied("enrolled")
+
+    def _replace(self, at_ms: float, command: Replace, held: Held) -> Applied:
+        if command.group in self.moves:
+            return Applied(error=WrongState(command.group, "a move is under way"))
+        if len(self.moves) >= command.most:
+            return Applied(error=Crowded(command.group, f"{len(self.moves)} moves are under way"))
+        if command.lost and command.lost not in held.voters:
+            return Applied(error=NotThere(command.lost, f"no voter of {command.group}"))
+        if command.new and (command.new in held.voters or not self._present(command.new)):
+            return Applied(error=WrongState(command.new, f"a voter of {command.group} already, or not enrolled"))
+        if not command.new and len(held.voters) <= 1:
+            return Applied(error=WrongState(command.group, "its last voter"))
+        self.moves[command.group] = Move(command.lost, command.new, at_ms)
+        self.begun += 1
+        self._rules.check(Rule.CONFIG_ONE, len(self.moves) <= command.most, lambda: f"{self.moves}")
+        return Applied("begun")
+
+    def _moved(self, command: Moved, held: Held) -> Applied:
+        if command.number < held.number:
+            return Applied(error=WrongState(command.group, "a later report is known"))
+        self.groups[command.group] = Held(command.voters, command.number, command.behind, held.reports + 1)
+        move = self.moves.get(command.group)
+        if move is not None and move.lost not in command.voters and (not move.new or move.new in command.voters):
+            del self.moves[command.group]
+        return Applied("noted")
+
+    def look(self, command: Any) -> Applied:
+        """For operators: groups with voters, moves, and who is enrolled."""
+        return Applied({"members": {name: {"id": who, "hall": hall} for name, (who, hall) in self.members.items()},
+                        "groups": {group: {"voters": list(held.voters), "behind": list(held.behind)}
+                                   for group, held in self.groups.items()},
+                        "moves": {group: {"lost": move.lost, "new": move.new} for group, move in self.moves.items()}})
+
+    def seen(self, now: float) -> None:
+        """Nothing here ends by time."""
+
+    def dump(self) -> Any:
+        """Plain data."""
+        return msgspec.to_builtins(
+            [self.copies, self.members, self.past, self.groups, self.moves, self.begun, self.slow])
+
+    def load(self, raw: Any) -> None:
+        """In place of all there is."""
+        (self.copies, self.members, self.past, self.groups, self.moves, self.begun, self.slow) = msgspec.convert(
+            raw, tuple[int, dict[str, tuple[Id, str]], dict[str, list[Id]], dict[str, Held], dict[str, Move], int,
+                       dict[Id, float]])
+
+    # What it says ----------------------------------------------------------------------------------------------------
+
+    def voters(self) -> dict[str, tuple[Id, ...]]:
+        """Of each group, as last reported."""
+        return {group: held.voters for group, held in self.groups.items()}
+
+    def holds(self, who: Id) -> list[str]:
+        """Groups that an Id copies or is to copy."""
+        return [group for group, held in self.groups.items()
+                if who in held.voters or (group in self.moves and self.moves[group].new == who)]
+
+    def _present(self, who: Id) -> bool:
+        known = self.members.get(name_of(who))
+        return known is not None and known[0] == who
+
+    def missing(self, view: View) -> list[str]:
+        """What keeps the copies from being whole (COPIES_WHOLE), a line each; empty: every group has its copies, all
+        present, alive and caught up, and nothing is on its way."""
+        want = copies_for(self.copies, len(self.members))
+        lines = [f"{group}: {move.new or 'nobody'} for {move.lost or 'nobody'} is under way"
+                 for group, move in self.moves.items()]
+        for group, held in self.groups.items():
+            if len(held.voters) != want:
+                lines.append(f"{group}: {len(held.voters)} copies of {want}")
+            lines += [f"{group}: {who} is lost" for who in held.voters
+                      if not self._present(who) or who not in view.alive]
+            lines += [f"{group}: {who} has not caught up"
+                      for who in dict.fromkeys((*held.behind, *view.behind.get(group, ()))) if who in held.voters]
+        return lines
+
+    def wanted(self, group: str, config: Config, behind: tuple[Id, ...], alive: frozenset[Id]) -> Change | None:
+        """The next change that the group's leader makes, given its committed configuration, the learners that have not
+        caught up, and who lives.  None: nothing is to be done, or not yet.  Where the one to remove is the leader
+        itself it hands over first."""
+        found = self._next(group, config, behind)
+        if found is None:
+            return None
+        act, who = found
+        voters = tuple(one for one in config.voters if one != who) + ((who,) if act == "promote" else ())
+        self._rules.check(Rule.CONFIG_ONE, len(set(voters) ^ set(config.voters)) <= 1,
+                          lambda: f"{group}: {config.voters} to {voters}")
+        if act != "learn" and sum(one in alive for one in voters) < Config(voters).majority():
+            return None  # it could acknowledge nothing with that
+        return Change(f"{act}:{group}:{who}", act, who)
+
+    def _next(self, group: str, config: Config, behind: tuple[Id, ...]) -> tuple[str, Id] | None:
+        move = self.moves.get(group)
+        new = move.new if move is not None else ""
+        for who in config.learners:
+            if who != new:
+                return "remove", who  # of a move that was given up
+        if move is None:
+            return None
+        if new and new not in config.voters:
+            if new not in config.learners:
+                return "learn", new
+            return None if new in behind else ("promote", new)
+        return ("remove", move.lost) if move.lost in config.voters else None
+
+    def report(self, group: str, config: Config, number: int, behind: tuple[Id, ...] = ()) -> Moved | None:
+        """What the group's leader has to report of its committed configuration; None where it is known.  `behind`:
+        voters that have long not caught up (a second or more), so that each lag is not an entry."""
+        held = self.groups.get(group)
+        behind = tuple(who for who in config.voters if who in behind)
+        if held is None or number < held.number or (held.voters, held.behind) == (config.voters, behind):
+            return None
+        return Moved(id=f"moved:{group}:{number}:{held.reports}:{'+'.join(behind)}", group=group,
+                     voters=config.voters, number=number, behind=behind)
+
+    # The leader's work -----------------------------------------------------------------------------------------------
+
+    def work(self, view: View) -> list[Command]:
+        """Enrol who came, give up what cannot end, then repair; even out only when nothing else is wrong."""
+        if not self.groups:
+            return []
+        made: list[Command] = []
+        for who in sorted(view.alive):
+            name = name_of(who)
+            if not self._present(who) and name in view.halls and who not in self.past.get(name, ()):
+                made.append(Enrol(id=f"enrol:{who}", name=name, who=who, hall=view.halls[name]))
+        made += self._forgo(view)
+        if made:
+            return made  # what follows looks at the state that comes of it
+        room = view.timings.repair_at_once - len(self.moves)
+        if room > 0:
+            made += self._repairs(view, room)
+        if not made and not self.moves and not self.missing(view) and (move := self._evened(view)) is not None:
+            made.append(self._begin(view, 0, *move))
+        return made
+
+    def _begin(self, view: View, at: int, group: str, lost: Id, new: Id) -> Replace:
+        return Replace(id=f"replace:{group}:{lost}:{new}:{self.begun + at}", group=group, lost=lost, new=new,
+                       most=view.timings.repair_at_once)
+
+    def _lost(self, view: View, who: Id) -> bool:
+        """For good, or for longer than a copy is waited for."""
+        dead = view.dead_for
+        return not self._present(who) or (
+            who not in view.alive and dead.get(who, dead.get(name_of(who) + "/", 0.0)) >= view.timings.repair_after_ms)
+
+    def _acts(self, view: View, held: Held) -> bool:
+        """Whether the group has a living majority: otherwise it can take nobody in, and must not block others."""
+        return sum(self._present(who) and who in view.alive
+                   for who in held.voters) >= Config(held.voters).majority()
+
+    def _forgo(self, view: View) -> list[Command]:
+        found: list[Command] = []
+        for group, move in self.moves.items():
+            held = self.groups[group]
+            if move.new and move.new not in held.voters and self._lost(view, move.new):
+                why = "the newcomer is lost"
+            elif move.new and move.new not in held.voters and view.wall - move.since > LONGEST_MOVE_MS:
+                why = "the newcomer does not catch up"
+            elif not self._acts(view, held) and sum(self._lost(view, who) for who in held.voters) > len(
+                    held.voters) - Config(held.voters).majority():
+                why = "the group has lost its majority"
+            else:
+                continue
+            found.append(Forgo(id=f"forgo:{group}:{move.new}:{self.begun}", group=group, new=move.new, why=why))
+        return found
+
+    def _loads(self) -> Counter[Id]:
+        load = Counter(who for held in self.groups.values() for who in held.voters)
+        for group, move in self.moves.items():
+            if move.new and move.new not in self.groups[group].voters:
+                load[move.new] += 1
+        return load
+
+    def _candidates(self, view: View, held: Held) -> list[tuple[Id, str]]:
+        return [(who, hall) for who, hall in self.members.values()
+                if who in view.alive and who not in held.voters
+                and view.wall - self.slow.get(who, -math.inf) > LONGEST_MOVE_MS]
+
+    def _repairs(self, view: View, room: int) -> list[Command]:
+        """Copies to make again, the group with the fewest living first, then the fleet's own."""
+        want, load = copies_for(self.copies, len(self.members)), self._loads()
+        broken: list[tuple[int, bool, str, Id, bool]] = []
+        for group, held in self.groups.items():
+            if group in self.moves or not self._acts(view, held):
+                continue
+            lost = [who for who in held.voters if self._lost(view, who)]
+            living = len(held.voters) - len(lost)
+            if len(held.voters) > want:
+                gone = lost[0] if lost else max(held.voters, key=lambda who: (load[who], who))
+                broken.append((living, group != FLEET, group, gone, False))
+            elif lost or len(held.voters) < want:
+                broken.append((living, group != FLEET, group, lost[0] if len(held.voters) == want else "", True))
+        made: list[Command] = []
+        for _, _, group, gone, needs in sorted(broken):
+            held = self.groups[group]
+            new = ""
+            if needs:
+                halls = {self.members[name_of(who)][1] for who in held.voters if not self._lost(view, who)}
+                found = min(self._candidates(view, held), default=None,
+                            key=lambda one: (one[1] in halls, load[one[0]], -_score(group, one[0])))
+                if found is None:
+                    continue  # until somebody comes
+                new = found[0]
+                load[new] += 1
+            made.append(self._begin(view, len(made), group, gone, new))
+            if len(made) == room:
+                break
+        return made
+
+    def _evened(self, view: View) -> tuple[str, Id, Id] | None:
+        """One move that serves a hall more or evens the load; each lowers a bounded sum, so that it comes to an end."""
+        load = self._loads()
+        best: tuple[tuple[int, int], str, Id, Id] | None = None
+        for group in sorted(self.groups):
+            held = self.groups[group]
+            of = {who: self.members[name_of(who)][1] for who in held.voters}
+            least: dict[str, Id] = {}
+            for who, hall in sorted(self._candidates(view, held), key=lambda one: (load[one[0]], one[0])):
+                least.setdefault(hall, who)
+            for lost in held.voters:
+                for hall, new in least.items():
+                    rest = Counter(other for who, other in of.items() if who != lost)
+                    halls = len(rest) + (hall not in rest) - len(set(of.values()))
+                    gain = halls, load[lost] - load[new]
+                    if (halls > 0 or (halls == 0 and gain[1] >= 2)) and (best is None or gain > best[0]):
+                        best = gain, group, lost, new
+        return best[1:] if best is not None else None
+
+
+def forced(saved: Saved, group: str, survivor: Id, lost: tuple[Id, ...], now: float) -> Saved:
+    """A group that lost its majority for good, restarted by the operators from one copy's log as its sole voter.
+
+    `lost` has to name all the other voters that stand in this log, which makes the act safe to repeat: once it is
+    done, or where it is meant for another state, `saved` comes back as it is.  `now` (Unix ms) is written into the
+    log with it.  Raises ValueError for a log that does not hang together.
+
+    What may be lost: whatever was acknowledged by the others without this one.  What may come: calls whose outcome was
+    unknown, at the end of this log, are taken.  Those given up must never start again with their old folders.
+    """
+    log = Log.load(saved)
+    config = log.config
+    if config is None or survivor not in config.voters or {survivor, *lost} != set(config.voters) or not lost:
+        return saved
+    term, voters = saved.term + FORCED_TERMS, config.voters
+    made = [log.at(index) for index in range(log.base + 1, log.last + 1)]
+    for who in lost:  # one at a time, as every change of members
+        voters = tuple(one for one in voters if one != who)
+        made.append(Entry(log.base + len(made) + 1, term, CONFIG, encode_config(Config(voters))))
+    note = msgspec.msgpack.encode({"forced": group, "survivor": survivor, "lost": lost, "at_ms": math.floor(now)})
+    made.append(Entry(log.base + len(made) + 1, term, NOTHING, note))
+    return Saved(term, survivor, saved.snapshot, tuple(made))
