--- a/lab/fleet/disk.py
+++ b/lab/fleet/disk.py
@@ -58,10 +58,11 @@
         elif isinstance(record, HardState):
             self.term, self.vote = record.term, record.vote
         elif isinstance(record, Snapshot):
-            self.snapshot = record
-            matches = self.at(record.index)
+            matches, before = self.at(record.index), self.snapshot
             # A log that goes on from the snapshot keeps its tail; another's tail goes with what lay before.
-            keep = matches is not None and matches.term == record.term
+            keep = ((matches is not None and matches.term == record.term)
+                    or (before is not None and (before.index, before.term) == (record.index, record.term)))
+            self.snapshot = record
             self.entries = [entry for entry in self.entries if entry.index > record.index] if keep else []
 
 
--- a/lab/fleet/world.py
+++ b/lab/fleet/world.py
@@ -231,7 +231,7 @@
     def _arrive(self, sender: str, to: str, envelope: tuple[str, str, list[AnyMessage]]) -> None:
         machine = self.machines.get(to)
         who, meant, messages = envelope
-        if machine is None or machine.node is None or ("/" in meant and meant != machine.id):
+        if machine is None or machine.node is None or (meant.partition("/")[2] and meant != machine.id):
             return  # told to a member as it was before: the shell throws it away
         self._give(to, machine.life, [Received(who, message) for message in messages])
 
