--- a/fleet/replica.py
+++ b/fleet/replica.py
@@ -170,6 +170,7 @@
             if saved.snapshot is not None:
                 machine.restore(now, saved.snapshot.body)
         self.commit = self.applied = self._log.base
+        self._member = self._knows(me)  # or was one
         # Stable: what the store has said is stored, so far as it is still so in the log here.
         self._safe_index, self._safe_term, self._safe_vote = self._log.last, self.term, self.vote
         self._seq = self._stored = 0
@@ -212,9 +213,10 @@
 
     @property
     def removed(self) -> bool:
-        """Whether a committed configuration has let this member go."""
+        """Whether a committed configuration has let this member go, after one that had it (known since the start)."""
         config = self._log.config_at(self.commit)
-        return config is not None and self.me not in config.voters and self.me not in config.learners
+        return (self._member and config is not None
+                and self.me not in config.voters and self.me not in config.learners)
 
     def behind(self) -> tuple[Id, ...]:
         """Learners that have not caught up, by the leader."""
@@ -501,16 +503,13 @@
         if peer is None:
             return
         if told.good and told.index <= self._log.last:
-            peer.waiting = False if peer.probing else peer.waiting
-            if told.index > peer.match:
-                peer.match = told.index
-                peer.next = max(peer.next, told.index + 1)
-                while peer.flight and peer.flight[0] <= told.index:
-                    peer.flight.popleft()
-                if peer.snapshot is not None and peer.match >= peer.snapshot.index:
-                    peer.snapshot, peer.waiting = None, False
+            peer.match, peer.next = max(peer.match, told.index), max(peer.next, told.index + 1)
+            while peer.flight and peer.flight[0] <= peer.match:
+                peer.flight.popleft()
+            if peer.snapshot is not None and told.index >= peer.snapshot.index:
+                peer.snapshot = None
             if peer.snapshot is None:
-                peer.probing = False
+                peer.probing = peer.waiting = False
             self._advance(now)
         elif not told.good and told.index < peer.next and (told.index > peer.match or told.index == 0 == peer.match):
             # 0: a newcomer that knows no configuration takes a snapshot before anything else.
@@ -751,6 +750,7 @@
         return True
 
     def _config_fits(self, before: Config) -> bool:
+        self._member = self._member or self._knows(self.me)
         moved = set(before.voters) ^ set(self.config.voters)
         return self._rule(Rule.CONFIG_ONE, len(moved) <= 1, lambda: f"{before} to {self.config}")
 
@@ -817,6 +817,7 @@
         self._snapshot = snapshot
         self._records.append(snapshot)
         self.commit = self.applied = snapshot.index
+        self._member = self._member or self._knows(self.me)
         self._say("info", "snapshot-taken", index=snapshot.index, bytes=len(snapshot.body))
 
     # Committing and applying ------------------------------------------------------------------------------------------
