Play a fleet on sockets: founding, faults, contracts, rolls, and the figures of the commands

lab run and lab sim give the keys of what gateways share, beside what they gave; exit code 1 where a promise does not hold. A stage of a fleet has a front that asks for PING and a supervisor, as an installation has.

--- a/lab/commands.py
+++ b/lab/commands.py
@@ -17,6 +17,7 @@
 from rich.progress import Progress
 from rich.table import Table
 
+from lab.fleet.figures import FleetFigures, spread
 from lab.report.write import compare_folders, write_folder
 from lab.result import Result, within_stated
 from lab.sim.world import play
@@ -85,14 +86,18 @@
     """Play SCENARIO (a shipped name or a file) on sockets, with real gateway processes.
 
     It takes the scenario's length in real time, and some seconds more.  Exit code 1 where a ceiling was
-    broken or the stated error passed.
+    broken, the stated error passed, or something that the fleet promised does not hold.
 
     \b
     Example:
         badgeryoke lab run counter-split --to results/split --json
     """
+    from lab.stage.fleet import unplayable
     from lab.stage.run import Stage
     text, source = _load(scenario)
+    if why_not := unplayable(text):
+        click.echo(f"{scenario}: {why_not}", err=True)
+        sys.exit(UNUSABLE)
     if watch is not None:
         text = replace(text, watch=watch)
     with Progress(console=Console(stderr=True), transient=True, disable=as_json) as progress:
@@ -107,29 +112,36 @@
         except (RuntimeError, OSError) as fault:
             click.echo(f"{scenario}: {fault}", err=True)
             sys.exit(FAILED)
-    figures = {**result.figures(), **stage.extra_figures(), "kind": "sockets"}
+    fleet = stage.fleet_figures()
+    figures = {**result.figures(), **stage.extra_figures(), **fleet.plain(), "kind": "sockets"}
     if to is not None:
         write_folder(to, text, source, [result], figures, stage.events)
-    _show(figures, result, as_json, to)
+    _show(figures, within_stated(result) and not fleet.bad(), as_json, to)
 
 
-def _show(figures: dict[str, Any], result: Result, as_json: bool, to: Path | None) -> None:
-    good = within_stated(result)
+def _show(figures: dict[str, Any], good: bool, as_json: bool, to: Path | None) -> None:
     if as_json:
         _json(figures)
     else:
         table = Table(box=None, show_header=False)
         for key in ("scenario", "ceiling_broken", "ceiling_excess", "beyond_share", "sent_of_allowed",
-                    "stated_error", "detect_ms", "false_alarms", "unanswered", "twice_answered"):
-            table.add_row(key, str(figures[key]))
+                    "stated_error", "detect_ms", "false_alarms", "unanswered", "twice_answered",
+                    *FleetFigures.__dataclass_fields__):
+            if figures[key] is not None:
+                table.add_row(key, str(figures[key]))
         Console().print(table)
         if to is not None:
             click.echo(f"report: {to / 'report.html'}")
     sys.exit(0 if good else BAD)
 
 
-def _one(job: tuple[Scenario, int]) -> Result:
-    return play(*job)
+def _one(job: tuple[Scenario, int]) -> tuple[Result, FleetFigures]:
+    """One seed, of the decisions on requests and of what gateways share."""
+    text, seed = job
+    if not text.fleet:
+        return play(text, seed), FleetFigures()
+    from lab.fleet.drawn import play_scenario
+    return play(text, seed), play_scenario(text, seed)
 
 
 @lab.command()
@@ -144,8 +156,8 @@
         jobs: int) -> None:
     """Play SCENARIO in simulated time against the decision code, once for each seed.
 
-    The same scenario and seed give the same bytes.  Exit code 1 where a ceiling was broken or the
-    stated error passed with any seed.
+    The same scenario and seed give the same bytes.  Exit code 1 where a ceiling was broken, the stated
+    error passed, or something that the fleet promised does not hold, with any seed.
 
     \b
     Example:
@@ -157,13 +169,15 @@
     if gateways is not None:
         text = resize(text, gateways)
     results: list[Result] = []
+    fleets: list[FleetFigures] = []
     with (multiprocessing.Pool(jobs or None) as pool,
           Progress(console=Console(stderr=True), transient=True, disable=as_json) as progress):
         task = progress.add_task(text.name, total=seeds)
-        for result in pool.imap(_one, [(text, seed) for seed in range(1, seeds + 1)]):
+        for result, fleet in pool.imap(_one, [(text, seed) for seed in range(1, seeds + 1)]):
             results.append(result)
+            fleets.append(fleet)
             progress.advance(task)
-    figures = summary(text, results)
+    figures = summary(text, results, fleets)
     if to is not None:
         events = [{"at_ms": shown.at_ms, "event": "belief", "gateway": shown.gateway + 1,
                    "belief": shown.belief, "sign": shown.sign} for shown in results[0].beliefs]
@@ -174,14 +188,14 @@
         table = Table(box=None)
         for column in ("", "worst", "median", "best"):
             table.add_column(column)
-        for key in KEYS:
-            row = figures["spread"][key]
-            table.add_row(key, *(str(row[part]) for part in ("worst", "median", "best")))
+        for key, row in figures["spread"].items():
+            if key in KEYS or figures[key] is not None:
+                table.add_row(key, *(str(row.get(part, "")) for part in ("worst", "median", "best")))
         Console().print(table)
         click.echo(f"stated error {figures['stated_error']:.3f}, "
                    f"ceilings broken {figures['ceiling_broken']}, "
                    f"false alarms {figures['false_alarms']}, seeds {seeds}")
-    sys.exit(0 if all(map(within_stated, results)) else BAD)
+    sys.exit(0 if all(map(within_stated, results)) and not any(one.bad() for one in fleets) else BAD)
 
 
 def resize(text: Scenario, gateways: int) -> Scenario:
@@ -192,20 +206,24 @@
     return replace(text, gateways=gateways, started=gateways, faults=faults)
 
 
-def summary(text: Scenario, results: list[Result]) -> dict[str, Any]:
-    """Figures over all seeds: worst, median and best of each."""
+def summary(text: Scenario, results: list[Result], fleets: list[FleetFigures] | None = None) -> dict[str, Any]:
+    """Figures over all seeds: worst, median and best of each; the fleet's own keys hold the worst."""
     rows = [result.figures() for result in results]
-    spread = {}
+    parts: dict[str, dict[str, Any]] = {}
     for key in KEYS:
         known = sorted(row[key] for row in rows if row[key] is not None)
         if not known:
-            spread[key] = {"worst": None, "median": None, "best": None}
+            parts[key] = {"worst": None, "median": None, "best": None}
             continue
         low_is_bad = key == "sent_of_allowed"
-        spread[key] = {"worst": known[0 if low_is_bad else -1], "median": known[len(known) // 2],
+        parts[key] = {"worst": known[0 if low_is_bad else -1], "median": known[len(known) // 2],
                        "best": known[-1 if low_is_bad else 0]}
+    fleet = spread([one.plain() for one in fleets or [FleetFigures()]])
+    worst = {key: row.get("worst") for key, row in fleet.items()}
+    if states := [one.roll_state for one in fleets or [] if one.roll_state is not None]:
+        worst["roll_state"] = next((state for state in states if state != "done"), "done")
     return {"scenario": text.name, "kind": "simulated", "seeds": len(rows), "gateways": text.gateways,
-            "watch": text.watch, "spread": spread, "stated_error": rows[0]["stated_error"],
+            "watch": text.watch, "spread": {**parts, **fleet}, **worst, "stated_error": rows[0]["stated_error"],
             "ceiling_broken": sum(row["ceiling_broken"] for row in rows),
             "false_alarms": sum(row["false_alarms"] for row in rows),
             "unanswered": sum(row["unanswered"] for row in rows),
--- a/lab/result.py
+++ b/lab/result.py
@@ -14,7 +14,7 @@
 DEADLINE_MS, SAFE_AIM_MS = 2000.0, 400.0
 ALARMS = {belief.value for belief in Belief if belief not in (
     Belief.UNKNOWN, Belief.SOUND, Belief.SLOW, Belief.HEALED)}
-REAL = ("kill", "freeze", "split", "swap", "spoil", "restore")  # faults that are a loss
+REAL = ("kill", "lose", "freeze", "split", "swap", "spoil", "restore")  # faults that are a loss
 AFTER_MS = 5000.0  # a belief so long after the last fault is a false one
 
 
--- a/lab/sim/world.py
+++ b/lab/sim/world.py
@@ -76,8 +76,10 @@
             self.counter.happen(self.now, fault)
         elif fault.target == "customers":
             self._spike = fault.amount
-        elif fault.word == "kill":
+        elif fault.word in ("kill", "lose"):
             self._kill(fault.groups[0][0] - 1)
+        elif fault.word != "start":
+            pass  # what goes wrong between gateways is the simulated fleet's matter (lab.fleet)
         else:
             self._start(fault.groups[0][0] - 1)
 
--- a/lab/stage/clients.py
+++ b/lab/stage/clients.py
@@ -68,10 +68,10 @@
             self._waiting.popleft()[1]("lost", 0.0)
 
     async def ping(self, within_s: float) -> bool:
-        """Whether it says that it is ready, within so long."""
+        """Whether it says that it is ready, within so long; asked once at the least."""
         loop = asyncio.get_running_loop()
         until = loop.time() + within_s
-        while loop.time() < until:
+        while True:
             said: asyncio.Future[object] = loop.create_future()
             try:
                 transport, _ = await loop.create_connection(lambda said=said: _Ping(said),  # type: ignore[misc]
@@ -82,8 +82,9 @@
                     return True
             except (OSError, TimeoutError):
                 pass
+            if loop.time() >= until:
+                return False
             await asyncio.sleep(0.05)
-        return False
 
 
 class _Ping(Peer):
--- a/lab/stage/fleet.py
+++ b/lab/stage/fleet.py
@@ -8,21 +8,37 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import random
+import time
 from collections.abc import Callable
 from typing import Any
 
 from lab.fleet.figures import FleetFigures
 from lab.stage.links import Links
 from lab.stage.process import STORE, GatewayProcess
-from lab.stage.promises import Address, Book, PromiseClient, fleet_call
-from lab.text.scenario import Fault, Scenario
+from lab.stage.promises import (
+    AGAIN,
+    AGAIN_S,
+    MOST_TRIES,
+    UNKNOWN,
+    Address,
+    Answer,
+    Book,
+    PromiseClient,
+    fleet_call,
+)
+from lab.stage.servers import CORES, LoadServer
+from lab.text.scenario import ContractText, Fault, RollText, Scenario
 
 LOOK_S = 0.1
 STATUS_S = 1.0
 FOUNDED_S = 20.0
 WHOLE_S = 30.0  # for which a fault that waits for whole copies is put off at the most
 READ_S = 20.0
+ROLLED_S = 120.0  # for which the end waits for a roll at the most
+LEFT_OUT_MS = 2000.0  # behind a loss, of the contracts' floor
+RESERVE, OTHERS = 0.2, 0.1  # parts of what the servers carry that are kept for losses, and for all others
 NAME = "lab"
 
 
@@ -46,14 +62,21 @@
         self.mgmt = mgmt
         self.gateways: list[GatewayProcess] = []
         self.book = Book()
+        self._client_task: asyncio.Task[None] | None = None
         self.client = PromiseClient(mgmt, scenario.proposals, rng, self.book, clock)
         self.frozen: set[int] = set()
         self.seen: dict[int, dict[str, Any]] = {}  # the last status of each that answers
         self._leaders: dict[tuple[str, int], set[str]] = {}
         self._broken: dict[int, int] = {}
         self._loss_at: float | None = None
+        self._losses: list[float] = []  # when a gateway was lost, or links cut: 2 s after it the floor is not judged
         self.restored_ms: float | None = None
         self._tasks: list[asyncio.Task[None]] = []
+        self._roll_tasks: list[asyncio.Task[None]] = []
+        self.roll_lost = 0
+        self.roll_state: str | None = None
+        self._asked: dict[tuple[str, int], list[float]] = {}  # by contract and second: units asked for and served
+        self._contract_of: dict[int, ContractText] = {}
 
     def file(self, me: int) -> str:
         """The [fleet] section of one gateway's file: it reaches the others by the laboratory's links."""
@@ -68,10 +91,97 @@
 
     # What is seen ---------------------------------------------------------------------------------------
 
-    def begin(self) -> None:
-        """Look, and make promises."""
-        loop = asyncio.get_running_loop()
+    async def founded(self) -> None:
+        """Wait until all gateways are one fleet whose groups have their copies."""
+        if not await self.until(self.whole, FOUNDED_S):
+            raise RuntimeError(f"the fleet was not founded within {FOUNDED_S:g} s: {self._state()}")
+
+    def begin(self, customers: dict[int, int]) -> None:
+        """Look, make promises, propose the contracts and ask for the rolls.  `customers`: from their number in the
+        text to their own."""
+        loop, scenario = asyncio.get_running_loop(), self.scenario
         self._tasks.append(loop.create_task(self._watch()))
+        if scenario.proposals:
+            self._client_task = loop.create_task(self.client.run())
+        for text in scenario.contracts:
+            names = [customers[number] for number in range(text.customers[0], text.customers[1] + 1)]
+            self._contract_of.update(dict.fromkeys(names, text))
+            self._tasks.append(loop.create_task(self._propose(text, names)))
+        for roll in scenario.rolls:
+            self._roll_tasks.append(loop.create_task(self._roll(roll)))
+
+    async def call(self, call: str, **fields: Any) -> Answer:
+        """One call, made again through others with the same id until one knows its answer."""
+        answer: Answer = None, UNKNOWN
+        for _ in range(MOST_TRIES):
+            answer = await fleet_call(self._rng.choice(self.mgmt), call, fields)
+            if answer[1] not in AGAIN:
+                break
+            await asyncio.sleep(AGAIN_S)
+        return answer
+
+    async def _propose(self, text: ContractText, customers: list[int]) -> None:
+        scenario = self.scenario
+        carries = scenario.servers * CORES * 2000.0 / sum(scenario.work_ms)  # requests a second
+        units = carries * sum(sum(crowd.units) / 2.0 for crowd in scenario.crowds) / len(scenario.crowds)
+        await self.call("Capacity", id="lab/capacity", units=units, reserve=RESERVE, floor=units * OTHERS)
+        begun = time.time() * 1000.0 - self._clock()
+        answer = await self.call("Propose", id=f"lab/{text.name}", contract=text.name, terms={
+            "tenant": text.name, "customers": customers, "rate": text.rate, "burst": text.burst,
+            "rank": min(text.importance, 9),
+            "windows": [{"from_ms": begun + text.from_ms, "to_ms": begun + text.to_ms}]})
+        self._event("contract", name=text.name, answer=answer[0], error=answer[1])
+
+    async def _roll(self, text: RollText) -> None:
+        await asyncio.sleep(max(text.from_ms - self._clock(), 0.0) / 1000.0)
+        before, self.roll_state = self.roll_lost, "asked"
+        answer = await self.call("RollAsk", id=f"lab/{text.name}", roll=text.name, at_once=text.at_once,
+                                 gateways=[f"g{number}" for number in text.gateways], reason="laboratory")
+        self._event("roll", name=text.name, answer=answer[0], error=answer[1])
+        if answer[1]:
+            self.roll_state = answer[1]
+            return
+        said = ""
+        while self.roll_state not in ("done", "failed", "cancelled"):
+            value, error = await self.call("RollRead", id="lab/read", roll=text.name)
+            if not error:
+                self.roll_state = value["state"]
+                now = json.dumps([value["state"], value.get("why"), value.get("gateways")], sort_keys=True)
+                if now != said:
+                    self._event("roll", name=text.name, state=value)
+                said = now
+            await asyncio.sleep(LOOK_S)
+        self._event("roll", name=text.name, state=self.roll_state, lost=self.roll_lost - before)
+
+    async def rolled(self) -> None:
+        """Wait until the rolls have ended."""
+        if self._roll_tasks:
+            await asyncio.wait(self._roll_tasks, timeout=ROLLED_S)
+        for task in self._roll_tasks:
+            if task.done():
+                task.result()
+
+    def served(self, customer: int, sent: float, units: float, kind: str) -> None:
+        """How a try of a customer ended that was made at a time."""
+        text = self._contract_of.get(customer)
+        if text is None or not text.from_ms <= sent < text.to_ms:
+            return
+        sums = self._asked.setdefault((text.name, int(sent // 1000.0)), [0.0, 0.0])
+        sums[0] += units
+        sums[1] += units if kind == "served" else 0.0
+
+    def floor(self) -> float | None:
+        """The least share of a contract's rate served over a second in which so much was asked for."""
+        found = None
+        for text in self.scenario.contracts:
+            for (name, second), (asked, served) in self._asked.items():
+                begins = second * 1000.0
+                if (name != text.name or asked < text.rate or begins < text.from_ms or begins + 1000.0 > text.to_ms
+                        or any(at - 1000.0 < begins < at + LEFT_OUT_MS for at in self._losses)):
+                    continue
+                share = min(served / text.rate, 1.0)
+                found = share if found is None else min(found, share)
+        return found
 
     async def _watch(self) -> None:
         while True:
@@ -100,12 +210,20 @@
         """Whether each group has a leader that says so: all copies there, on members that run, and none behind."""
         raise NotImplementedError
 
+    def _state(self) -> str:
+        return json.dumps(self.seen, sort_keys=True)[:2000]
+
     def majority(self) -> bool:
         """Whether more than half of all gateways run and hear each other."""
         up = [me for me, gateway in enumerate(self.gateways) if gateway.running and me not in self.frozen]
         return any(2 * sum(other == me or self.links.joined(me, other) for other in up) > self.scenario.gateways
                    for me in up)
 
+    async def until_whole(self) -> None:
+        """Put a fault off until the copies are whole again."""
+        if not await self.until(self.whole, WHOLE_S):
+            self._event("not whole", state=self._state())
+
     async def until(self, good: Callable[[], bool], within_s: float) -> bool:
         """Look until it is so."""
         loop = asyncio.get_running_loop()
@@ -121,9 +239,13 @@
 
     async def happen(self, fault: Fault) -> None:
         """A fault of the links or of one gateway; a process that it ends or starts is the stage's matter."""
+        if fault.word in ("kill", "lose", "spoil", "freeze", "cut"):
+            self._losses.append(self._clock())
         if fault.target == "gateways":
             self.links.happen(fault)
             return
+        if fault.target != "gateway":
+            return
         me = fault.groups[0][0] - 1
         gateway = self.gateways[me]
         if fault.word in ("freeze", "thaw"):
@@ -139,26 +261,35 @@
             self._loss_at = self._clock() if self._loss_at is None else self._loss_at
 
     async def finish(self) -> None:
-        """Read back what was promised, through whoever runs."""
+        """Mend all, let what is under way come to its end, and read back what was promised."""
         self.client.asking = False
         self.links.mend()
         for me in sorted(self.frozen):
             self.gateways[me].freeze(False)
         self.frozen.clear()
+        if self._client_task is not None:
+            await self._client_task
+        self.book.finish(self._clock())
+        if not await self.until(self.whole, WHOLE_S):
+            self._event("not whole", state=self._state())
+        await self.client.read_back(READ_S)
 
     def close(self) -> None:
         """Look no more, and break the links off."""
-        for task in self._tasks:
-            task.cancel()
+        for task in (*self._tasks, *self._roll_tasks, self._client_task):
+            if task is not None:
+                task.cancel()
         self.links.close()
 
-    def figures(self) -> FleetFigures:
-        """What was seen of the promises and the copies."""
-        book = self.book
+    def figures(self, servers: list[LoadServer]) -> FleetFigures:
+        """All that was seen."""
+        book, scenario = self.book, self.scenario
         return FleetFigures(
             promises_acknowledged=len(book.acknowledged), promises_lost=len(book.lost) + len(book.unread),
             promises_twice=len(book.twice), leaders_in_a_term=max(map(len, self._leaders.values()), default=0),
             unavailable_ms=book.longest_ms, copies_restored_ms=self.restored_ms,
+            contract_floor=self.floor(),
+            connections_over=(max(max(one.most_open - scenario.connections, 0) for one in servers)
+                              if scenario.connections else None),
+            roll_state=self.roll_state, roll_lost=self.roll_lost if scenario.rolls else None,
             invariants_broken=sum(self._broken.values()))
-
-
--- a/lab/stage/run.py
+++ b/lab/stage/run.py
@@ -15,19 +15,22 @@
 from hdrh.histogram import HdrHistogram
 
 from lab.customers import Customer, draw_customers
+from lab.fleet.figures import FleetFigures
 from lab.referee import Referee
 from lab.result import DEADLINE_MS, Result, Shown, conclude
 from lab.sim.counter import CounterModel
 from lab.stage.agent import Agent, roster
 from lab.stage.clients import Door
 from lab.stage.counter import CounterStage
+from lab.stage.fleet import FleetStage
 from lab.stage.process import BELIEF, GatewayProcess
 from lab.stage.resp import words
-from lab.stage.servers import LoadServer
+from lab.stage.servers import CORES, LoadServer
 from lab.text.scenario import Fault, Scenario
 
 FRONT_S = 1.5  # after which clients leave a dead gateway
 READY_S = 20.0
+TEND_S = 0.1  # between two PINGs of the front
 HIGHEST_US = 60_000_000
 
 
@@ -48,11 +51,14 @@
         self._temporary = tempfile.TemporaryDirectory() if folder is None else None
         self.folder = folder or Path(self._temporary.name if self._temporary else ".")
         self.referee = Referee(scenario.plans, scenario.trouble)
+        self.fleet: FleetStage | None = None
+        self._felled: set[int] = set()  # gateways that the laboratory has ended and not started again
+        self._tasks: list[asyncio.Task[None]] = []
         self.counter = CounterStage(CounterModel(scenario, self._rng), scenario.gateways)
         self.beliefs: list[Shown] = []
         self.events: list[dict[str, Any]] = []
         self.latency = {kind: HdrHistogram(1, HIGHEST_US, 3) for kind in ("served", "refused", "failed")}
-        self._servers = [LoadServer(number + 1, scenario.work_ms, scenario.slots, 2, seed, self._arrived,
+        self._servers = [LoadServer(number + 1, scenario.work_ms, scenario.slots, CORES, seed, self._arrived,
                                     number < scenario.cold) for number in range(scenario.servers)]
         self._customers = draw_customers(scenario, self._rng)
         self._doors: list[Door] = []
@@ -90,25 +96,38 @@
         for server in self._servers:
             await server.open(scenario.gateways)
         self._agents = []
+        # A gateway's addresses: for clients, for its operators, for the others of its fleet.
+        hosts = [f"127.0.1.{me % 250 + 1}" for me in range(scenario.gateways)]
+        mgmt = [(host, free_port(host)) for host in hosts]
+        if scenario.fleet:
+            self.fleet = FleetStage(scenario, self._rng, lambda: self.now, self._event,
+                                    [(host, free_port(host)) for host in hosts], mgmt)
+            await self.fleet.links.listen()
+            self.fleet.gateways = self._gateways
         for me in range(scenario.gateways):
             body = roster({one.number: f"127.0.0.1:{one.ports[me]}" for one in self._servers},
                           range(1, scenario.cold + 1), int(time.time() * 1000.0))
             agent = await loop.create_server(lambda body=body: Agent(body, 1),  # type: ignore[misc]
                                              "127.0.0.1", 0)
             self._agents.append(agent)
-            host = f"127.0.1.{me % 250 + 1}"
-            address = host, free_port(host)
+            address = hosts[me], free_port(hosts[me])
             self._doors.append(Door(address))
             self._gateways.append(GatewayProcess(
                 scenario, me, self.folder, address, agent.sockets[0].getsockname()[1],
-                self.counter.ports[me], body, self._said))
+                self.counter.ports[me], body, self._said,
+                *(("{}:{}".format(*mgmt[me]), self.fleet.file(me)) if self.fleet is not None else ())))
         self._begun = loop.time()
         await asyncio.gather(*(self._start(me) for me in range(min(scenario.started, scenario.gateways))))
         await asyncio.sleep(1.3)  # until every gateway has seen the others, as on any day but the first
+        if self.fleet is not None:
+            await self.fleet.founded()
         self._begun = loop.time()
 
     async def _start(self, me: int) -> None:
+        if self._gateways[me].running:
+            return
         await self._gateways[me].start()
+        self._felled.discard(me)
         if not await self._doors[me].ping(READY_S):
             raise RuntimeError(f"gateway {me + 1} was not ready within {READY_S:g} s; its log: "
                                f"{self.folder / f'gateway-{me + 1}' / 'log'}")
@@ -120,6 +139,9 @@
             if customer.rate > 0:
                 self._next(customer, 0.0)
         self._look(loop.time())
+        if self.fleet is not None:
+            self.fleet.begin({number + 1: one.number for number, one in enumerate(self._customers)})
+            self._tasks.append(loop.create_task(self._tend()))
         for fault in scenario.faults:
             await asyncio.sleep(max(fault.at_ms - self.now, 0.0) / 1000.0)
             self._event("fault", word=fault.word, target=fault.target, mode=fault.mode,
@@ -128,23 +150,57 @@
         while self.asking and self.now < scenario.length_ms:
             await asyncio.sleep(0.05)
         self.asking = False
+        if self.fleet is not None:
+            await self.fleet.rolled()
         await asyncio.sleep((DEADLINE_MS + 200.0) / 1000.0)
+        if self.fleet is not None:
+            for me in sorted(self._felled):
+                await self._start(me)
+            await self.fleet.finish()
 
     async def _happen(self, fault: Fault) -> None:
         if fault.target == "counter":
             await self.counter.happen(fault)
-        elif fault.target == "customers":
+            return
+        if fault.target == "customers":
             self._spike = fault.amount
-        elif fault.word == "kill":
-            me = fault.groups[0][0] - 1
+            return
+        me = fault.groups[0][0] - 1 if fault.target == "gateway" else -1
+        if fault.mode == "whole" and self.fleet is not None:
+            await self.fleet.until_whole()
+        ran = me >= 0 and self._gateways[me].running
+        if fault.word in ("kill", "lose", "spoil") and ran:
+            self._felled.add(me)
             self._dead_at[me] = self.now
             await self._gateways[me].kill()
             self._doors[me].up = False
             self._doors[me].drop()
-        else:
-            await self._start(fault.groups[0][0] - 1)
+        if self.fleet is not None:
+            await self.fleet.happen(fault)
+        if fault.word == "start" or (fault.word == "spoil" and ran):
+            await self._start(me)
+
+    async def _tend(self) -> None:
+        """What an installation has beside the gateways: a front that asks each for PING and sends clients only to
+        those that say yes, and a supervisor that starts anew what has ended by itself."""
+        while True:
+            for me, gateway in enumerate(self._gateways):
+                if not gateway.running and me not in self._felled:
+                    self._doors[me].up = False
+                    self._doors[me].drop()
+                    self._event("ended", gateway=me + 1)
+                    await self._start(me)
+            live = [me for me in range(len(self._gateways)) if me not in self._felled]
+            said = await asyncio.gather(*(self._doors[me].ping(0.0) for me in live))
+            for me, yes in zip(live, said, strict=True):
+                self._doors[me].up = yes and me not in self._felled
+            await asyncio.sleep(TEND_S)
 
     async def _close(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        if self.fleet is not None:
+            self.fleet.close()
         await asyncio.gather(*(gateway.stop() for gateway in self._gateways))
         self.counter.close()
         for server in self._servers:
@@ -205,8 +261,12 @@
             if kind == "refused" and not again and rng.random() < customer.crowd.retries:
                 asyncio.get_running_loop().call_later(wait_ms / 1000.0, self._ask, customer, True)
             self.counts[kind] += 1
+            if self.fleet is not None:
+                self.fleet.served(customer.number, sent, units, kind)
             if kind == "lost":
                 self.referee.lost(rid)
+                if self.fleet is not None and me not in self._felled:
+                    self.fleet.roll_lost += 1
                 return
             self.referee.answered(self.now, rid, kind)
             self.latency[kind].record_value(max(int((self.now - sent) * 1000.0), 1))
@@ -238,4 +298,9 @@
                                   for part in (50, 90, 99, 99.9)}
                            for kind, one in self.latency.items() if one.get_total_count()},
             "memory_mb": [round(gateway.peak_kb / 1024.0, 1) for gateway in self._gateways],
-            "emulator_lag_ms": round(self.worst_lag_ms, 1)}
+            "emulator_lag_ms": round(self.worst_lag_ms, 1),
+            **({"promises": self.fleet.book.figures()} if self.fleet is not None else {})}
+
+    def fleet_figures(self) -> FleetFigures:
+        """What the fleet's part of the run came to; all empty where there is none."""
+        return self.fleet.figures(self._servers) if self.fleet is not None else FleetFigures()
--- a/lab/stage/servers.py
+++ b/lab/stage/servers.py
@@ -9,6 +9,7 @@
 from lab.stage.resp import Peer
 
 REPORT_MS = (120.0, 740.0)  # between two refreshings of what a server says of its load
+CORES = 2
 COLD_PART, WARM_MS = 0.25, 10_000.0
 
 # Told of each command: customer, request id, its fields, which gateway's address it came to.
