--- a/lab/stage/fleet.py
+++ b/lab/stage/fleet.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from fleet.groups import group_of
 from lab.fleet.figures import FleetFigures
 from lab.stage.links import Links
 from lab.stage.process import STORE, GatewayProcess
@@ -38,8 +39,8 @@
 READ_S = 20.0
 ROLLED_S = 120.0  # for which the end waits for a roll at the most
 LEFT_OUT_MS = 2000.0  # behind a loss, of the contracts' floor
-RESERVE, OTHERS = 0.2, 0.1  # parts of what the servers carry that are kept for losses, and for all others
 NAME = "lab"
+GROUPS = 8
 
 
 def unplayable(scenario: Scenario) -> str:
@@ -61,7 +62,7 @@
         self.links.targets = dict(enumerate(listen))
         self.mgmt = mgmt
         self.gateways: list[GatewayProcess] = []
-        self.book = Book()
+        self.book = Book(lambda name: group_of(f"p:{name}", GROUPS))
         self._client_task: asyncio.Task[None] | None = None
         self.client = PromiseClient(mgmt, scenario.proposals, rng, self.book, clock)
         self.frozen: set[int] = set()
@@ -82,13 +83,20 @@
         """The [fleet] section of one gateway's file: it reaches the others by the laboratory's links."""
         scenario = self.scenario
         lines = ["[fleet]", "enabled = true", f'name = "{NAME}"', f'me = "g{me + 1}"', f'folder = "{STORE}"',
-                 f"copies = {scenario.copies}", ""]
+                 f"copies = {scenario.copies}", f"groups = {GROUPS}", f"capacity = {self.capacity():.1f}", "",
+                 "[fleet.servers]", f"connections = {scenario.connections}", ""]
         for other in range(scenario.gateways):
             host, port = self.links.targets[me] if other == me else ("127.0.0.1", self.links.ports[me, other])
             lines += ["[[fleet.members]]", f'name = "g{other + 1}"',
                       f'hall = "hall-{"abcdefghi"[other % scenario.halls]}"', f'address = "{host}:{port}"', ""]
         return "\n".join(lines)
 
+    def capacity(self) -> float:
+        """Units a second that the servers carry."""
+        scenario = self.scenario
+        calls = scenario.servers * CORES * 2000.0 / sum(scenario.work_ms)
+        return calls * sum(sum(crowd.units) / 2.0 for crowd in scenario.crowds) / max(len(scenario.crowds), 1)
+
     # What is seen ---------------------------------------------------------------------------------------
 
     async def founded(self) -> None:
@@ -121,10 +129,6 @@
         return answer
 
     async def _propose(self, text: ContractText, customers: list[int]) -> None:
-        scenario = self.scenario
-        carries = scenario.servers * CORES * 2000.0 / sum(scenario.work_ms)  # requests a second
-        units = carries * sum(sum(crowd.units) / 2.0 for crowd in scenario.crowds) / len(scenario.crowds)
-        await self.call("Capacity", id="lab/capacity", units=units, reserve=RESERVE, floor=units * OTHERS)
         begun = time.time() * 1000.0 - self._clock()
         answer = await self.call("Propose", id=f"lab/{text.name}", contract=text.name, terms={
             "tenant": text.name, "customers": customers, "rate": text.rate, "burst": text.burst,
