Grant nobody more than whole shares of connections while another has less

With a limit of 4 and three askers two held two each and one none for good: the uneven rest went round between those who had it.

--- a/fleet/connections.py
+++ b/fleet/connections.py
@@ -233,11 +233,14 @@
         if held is None:
             self._tidy(ask.server)
             return [ask.server, 0, 0, 0, max(int(given.spare), 0)]
-        # An even share of 0.12 is one connection for those who come first, or nobody had any.
-        aim = min(math.ceil(given.fair - EDGE), ask.wish)
+        # An even share of 0.12 is one connection for those who come first, or nobody had any; but what is over the whole
+        # steps goes to nobody while another has less than those, or it would go round between those who have them.
+        even = int(given.fair + EDGE)
+        first = any(one.part + EDGE < min(one.wish, even) for other, one in parts.held.items() if other != who)
+        aim = min(even if first else math.ceil(given.fair - EDGE), ask.wish)
         if held.part < aim and limit - parts.granted() >= 1.0 - EDGE:
             held.part += 1.0
-        if limit - parts.granted() >= 1.0 - EDGE:
+        if limit - parts.granted() >= 1.0 - EDGE and not first:
             aim = max(aim, int(held.part))  # nobody is short: what lies idle may stay open
         self._rules.check(Rule.LEASE_ONCE, held.number > self._last,
                           lambda: f"{ask.server}: lease {held.number} was given before, the last was {self._last}")
