--- a/fleet/contracts.py
+++ b/fleet/contracts.py
@@ -499,6 +499,10 @@
         part = self.halls.get(hall, self.capacity) / self.capacity if self.capacity else 0.0
         return self.available() * min(part, 1.0)
 
+    def promised(self, begin: float, end: float) -> float:
+        """The most that contracts take at any moment of a time (Unix ms), units a second."""
+        return self._line().peak(begin, end)
+
     def _propose(self, at_ms: float, command: Propose) -> Applied:
         terms, known = command.terms, self.held.get(command.contract)
         if known is not None:
@@ -591,7 +595,8 @@
             return Applied(error=BadCall(name, "windows: expected one that ends behind holds_from_ms"))
         coming = Version(self.made + 1, terms or old.terms, times, holds_from)
         before = found.pieces(self.tail)
-        more = [one for one in Contract(name, [old, coming]).pieces(self.tail) if one[2] > _height(before, one[0]) + EDGE]
+        more = [one for one in Contract(name, [old, coming]).pieces(self.tail)
+                if one[2] > _height(before, one[0]) + EDGE]
         if terms is not None and more and (refused := self._refuse(at_ms, name, more, terms)) is not None:
             return Applied(error=refused)
         found.versions.append(coming)
@@ -792,6 +797,7 @@
         if found is None:
             return Applied(error=NotThere(command.contract, "no such contract is open here"))
         self._turn(at_ms, found)
+        found.parts.accrue(at_ms)
         if isinstance(command, EndLease):
             ended = found.parts.end(command.holder, command.number)
             if ended:
@@ -858,7 +864,7 @@
             self._fresh.add(command.contract)
         until, then = self._until(found, span) if span is not None else (0.0, 0.0)
         value = {"number": given.number, "part": given.part, "room": given.room, "cap": given.cap, "fair": given.fair,
-                 "fair_cap": given.fair_cap, "spare": given.spare, "holders": given.holders, "version": found.version,
+                 "most": given.most, "fair_cap": given.fair_cap, "spare": given.spare, "holders": given.holders, "version": found.version,
                  "from_ms": span[0] if span is not None else 0.0, "until_ms": until, "then": then}
         if given.number:
             found.answers[command.holder] = command.id, value
--- a/fleet/groups.py
+++ b/fleet/groups.py
@@ -246,7 +246,8 @@
         return Applied({"members": {name: {"id": who, "hall": hall} for name, (who, hall) in self.members.items()},
                         "groups": {group: {"voters": list(held.voters), "behind": list(held.behind)}
                                    for group, held in self.groups.items()},
-                        "moves": {group: {"lost": move.lost, "new": move.new} for group, move in self.moves.items()}})
+                        "moves": {group: {"lost": move.lost, "new": move.new} for group, move in self.moves.items()},
+                        "state": self.dump()})
 
     def seen(self, now: float) -> None:
         """Nothing here ends by time."""
--- a/fleet/node.py
+++ b/fleet/node.py
@@ -6,29 +6,476 @@
 
 from __future__ import annotations
 
-import math
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, replace
 from random import Random
 from typing import Any
 
-from fleet.events import Effect, NodeEvent, Saved
+import msgspec
+
+from fleet.connections import Limit, bucket
+from fleet.errors import AnyError, BadCall, Crowded, FleetError, InvariantBroken, NoLeader, UnknownOutcome
+from fleet.events import (
+    Call,
+    Done,
+    Effect,
+    HandOver,
+    Leave,
+    NodeEvent,
+    Propose,
+    Read,
+    Received,
+    ReplicaEvent,
+    Saved,
+    Say,
+    Send,
+    StoreBroke,
+    Stored,
+    Tick,
+)
+from fleet.founding import Founding
+from fleet.groups import Places, Placing, first_placing, group_of
 from fleet.invariants import Invariants
+from fleet.membership import Membership
+from fleet.messages import (
+    Ack,
+    Config,
+    Forward,
+    Found,
+    GroupMessage,
+    IAm,
+    Id,
+    Nack,
+    Ping,
+    PingFor,
+    Reply,
+    WhoAreYou,
+)
+from fleet.part import FLEET, Applied, Command, View
+from fleet.replica import Replica
 from fleet.setup import FOUNDING, Holder, Member, Setup
+from fleet.state import GroupState, decode, encode
 
 __all__ = ["FOUNDING", "Holder", "Member", "Node", "Setup"]
+MOST_CALLS = 4096  # calls of this gateway that have no answer yet; more are refused
+MOST_HOPS = 3  # of a call on its way to a leader
+TRY_PART = 0.25  # of `call_ms`, after which a call without an answer is made again: its id makes that harmless
+PAUSE_MS = 40.0  # before a call that found no leader is made again
+PLACES_MS = 400.0  # a member that leads a group reads so often who is to copy it
+ANY = "*"  # in Setup.servers: each server that is not named
+POLL_MS = 20.0  # the holders' calls are looked for so often
+
+
+_replies = msgspec.msgpack.Decoder(tuple[Applied | None, AnyError | None, str])
+
+
+@dataclass(slots=True)
+class _Call:
+    """A call of this gateway that has no answer yet."""
+
+    command: Command
+    group: str
+    until: float
+    answer: Callable[[float, Applied | FleetError], list[Effect]]
+    again: float  # when it is made again
+    round: int = 0
+    sent: bool = False  # some try may have been taken
+
+
+def _nobody(now: float, result: Any) -> list[Effect]:
+    return []
 
 
 class Node:
-    """See above.  `due` is when the next Tick has to come at the latest, `now`'s clock."""
+    """See above.  `due` is when the next Tick has to come at the latest, `now`'s clock.
+
+    `load` may be set by the shell: what the gateway knows of capacity and demand, units a second.
+    """
 
     def __init__(self, setup: Setup, saved: dict[str, Saved], draw: Random, now: float, wall: float,
-                 rules: Invariants) -> None:
-        self.setup, self.rules = setup, rules
-        self.due = math.inf
+                 rules: Invariants, holders: Iterable[Holder] = ()) -> None:
+        self.setup, self.rules, self.me = setup, rules, setup.id
+        self._timings, self._draw = setup.timings, draw
+        self._saved = dict(saved)
+        self._halls = {member.name: member.hall for member in setup.members}
+        self.load: dict[str, float] = {"capacity": setup.capacity}
+        self.holders = list(holders)
+        self.replicas: dict[str, Replica] = {}
+        self.states: dict[str, GroupState] = {}
+        self.membership = Membership(self.me, self._halls.get(setup.me, ""), setup.members, setup.timings, draw, now)
+        self.founding = Founding(setup, self._saved.pop(FOUNDING, Saved()), draw, now)
+        self._broken: FleetError | None = None  # why this member promises nothing
+        self._calls: dict[str, _Call] = {}
+        self._ours: dict[str, Callable[[float, Any], list[Effect]]] = {}  # proposals of replicas here, by token
+        self._routes: dict[str, Id] = {}  # who led a group, as last heard
+        self._placed: dict[str, tuple[Id, ...]] = {}  # who copies a group, as last heard
+        self._working: dict[str, None] = {}  # commands that a leader here has under way
+        self._changing: dict[str, None] = {}  # groups with a change of members under way here
+        self._places = Placing(setup.timings, rules)  # who is to copy what, as last read
+        self._reading = False
+        self._places_at = now
+        self.limits = {name: most for name, most in setup.servers.items() if name != ANY}
+        self._last = 0
+        self._begun = f"{draw.getrandbits(48):012x}"  # tokens of an earlier life are not answered as this one's
+        self._work_at = self._poll_at = now
+        self._leaving: tuple[str, float] | None = None
+        self.due = now
+        if self.founding.record is not None:
+            self._open(now)
+
+    # Groups -----------------------------------------------------------------------------------------------
+
+    def _open(self, now: float) -> None:
+        """The fleet is founded: bring up what this member copies."""
+        record = self.founding.record
+        assert record is not None
+        self._placed = first_placing(record)
+        self.membership.know(now, (who for who, _ in record.members))
+        for group, ids in self._placed.items():
+            if group in self._saved or self.me in ids:
+                self._replica(now, group)
+        for group in list(self._saved):
+            self._replica(now, group)
+
+    def _replica(self, now: float, group: str) -> Replica | None:
+        """The replica of a group; a newcomer's where there is none, which waits to be told."""
+        found = self.replicas.get(group)
+        if found is None and group in self._placed:
+            state = self.states[group] = GroupState(group, self._timings, self.rules)
+            if group == FLEET:
+                assert self.founding.record is not None
+                state.parts["placing"].begin(self.founding.record)
+            saved = self._saved.pop(group, Saved())
+            first = Config(self._placed[group]) if self.me in self._placed[group] else None
+            found = self.replicas[group] = Replica(
+                group, self.me, saved, state, self._timings, self._draw, self.rules, now, first)
+        return found
+
+    def _feed(self, now: float, group: str, event: ReplicaEvent) -> list[Effect]:
+        """Let a replica take an event, and carry its results on."""
+        replica = self.replicas[group]
+        broken = self.rules.count
+        effects: list[Effect] = []
+        for effect in replica.handle(now, event):
+            if isinstance(effect, Done):
+                effects += self._ours.pop(effect.token, _nobody)(now, effect.result)
+            else:
+                effects.append(effect)
+        if self.rules.count != broken and not isinstance(event, StoreBroke):
+            rule, facts = self.rules.broken[-1]
+            error = InvariantBroken(group, f"{rule.name}: {facts}")
+            effects.append(Say("error", "invariant broken", {"group": group, "error": str(error)}))
+            effects += self._feed(now, group, StoreBroke(error))  # it promises nothing from here on
+        return effects
+
+    # Events -----------------------------------------------------------------------------------------------
 
     def handle(self, now: float, wall: float, event: NodeEvent) -> list[Effect]:
         """Take an event in; gives what has to be done, in order."""
-        raise NotImplementedError
+        effects: list[Effect] = []
+        match event:
+            case Received(message=GroupMessage() as message):
+                if self.founding.record is not None and self._replica(now, message.group) is not None:
+                    effects += self._feed(now, message.group, event)
+            case Received(sender=sender, message=Forward() as message):
+                effects += self._forwarded(now, wall, sender, message)
+            case Received(sender=sender, message=Reply() as message):
+                effects += self._replied(now, wall, sender, message)
+            case Received(message=Ping() | Ack() | PingFor() | Nack()):
+                effects += self.membership.handle(now, event)
+            case Received(message=WhoAreYou() | IAm() | Found()):
+                effects += self._founded(now, event)
+            case Stored(group=group):
+                if group == FOUNDING:
+                    effects += self._founded(now, event)
+                elif group in self.replicas:
+                    effects += self._feed(now, group, event)
+            case StoreBroke(error=error):
+                self._broken = self._broken or error
+                effects.append(Say("error", "promises nothing more", {"error": str(error)}))
+                effects += self._founded(now, event)
+                for group in self.replicas:
+                    effects += self._feed(now, group, event)
+            case Call(token=token, command=command):
+                effects += self._ask(now, wall, command, lambda at, result: [Done(token, result)])
+            case Leave(token=token):
+                self._leaving = token, now + 2 * self._timings.election_ms
+                effects += self.membership.leave(now)
+                for group, replica in self.replicas.items():
+                    if replica.leading:
+                        effects += self._feed(now, group, HandOver())
+            case Tick():
+                pass
+        effects += self._tick(now, wall)
+        return effects
+
+    def _founded(self, now: float, event: Tick | Received | Stored | StoreBroke) -> list[Effect]:
+        known = self.founding.record
+        effects: list[Effect] = list(self.founding.handle(now, event))
+        if known is None and self.founding.record is not None:
+            self._open(now)
+        return effects
+
+    def _tick(self, now: float, wall: float) -> list[Effect]:
+        effects: list[Effect] = []
+        if self.founding.due <= now:
+            effects += self._founded(now, Tick())
+        if self.membership.due <= now:
+            effects += self.membership.handle(now, Tick())
+        for group, replica in list(self.replicas.items()):
+            if replica.due <= now:
+                effects += self._feed(now, group, Tick())
+        for token, call in list(self._calls.items()):
+            if call.until <= now:
+                del self._calls[token]
+                error = UnknownOutcome if call.sent and not call.command.reads else NoLeader
+                effects += call.answer(now, error(call.group, f"no answer within {self._timings.call_ms:g} ms"))
+            elif call.again <= now:
+                effects += self._try(now, wall, token, call)
+        if self._work_at <= now and self.founding.record is not None:
+            self._work_at = now + self._timings.heartbeat_ms
+            for group, replica in list(self.replicas.items()):
+                if replica.leading and self._leaving is None:
+                    effects += self._work(now, wall, group, replica)
+            if self._places_at <= now:
+                self._places_at = now + PLACES_MS
+                effects += self._read_places(now, wall)
+        if self._poll_at <= now:
+            self._poll_at = now + POLL_MS
+            if self.founding.record is not None:
+                for holder in self.holders:
+                    for command in holder.poll(now, wall):
+                        effects += self._ask(now, wall, command, self._holder_answer(holder, command))
+        if self._leaving is not None:
+            token, until = self._leaving
+            if until <= now or not any(replica.leading for replica in self.replicas.values()):
+                self._leaving = None
+                effects.append(Done(token, None))
+        self.due = min([self._work_at, self._poll_at, self.founding.due, self.membership.due,
+                        *(replica.due for replica in self.replicas.values()),
+                        *(min(call.until, call.again) for call in self._calls.values())])
+        return effects
+
+    @staticmethod
+    def _holder_answer(holder: Holder, command: Command) -> Callable[[float, Applied | FleetError], list[Effect]]:
+        def answer(now: float, result: Applied | FleetError) -> list[Effect]:
+            holder.answered(now, command, result)
+            return []
+        return answer
+
+    # Calls ------------------------------------------------------------------------------------------------
+
+    def _token(self) -> str:
+        self._last += 1
+        return f"{self.me}:{self._begun}:{self._last}"
+
+    def _ask(self, now: float, wall: float, command: Command,
+             answer: Callable[[float, Applied | FleetError], list[Effect]]) -> list[Effect]:
+        """Make a call: it is answered once, within `call_ms`."""
+        problem = command.fault()
+        if problem:
+            return answer(now, BadCall(command.id, problem))
+        if self.founding.record is None:
+            return answer(now, NoLeader(self.setup.fleet, "the fleet is not founded yet"))
+        if len(self._calls) >= MOST_CALLS:
+            return answer(now, Crowded(self.me, f"{MOST_CALLS} calls have no answer yet"))
+        group = group_of(command.key(), self.founding.record.groups)
+        token = self._token()
+        call = self._calls[token] = _Call(command, group, now + self._timings.call_ms, answer, now)
+        return self._try(now, wall, token, call)
+
+    def _try(self, now: float, wall: float, token: str, call: _Call) -> list[Effect]:
+        """One try: at the replica here where it leads, else at whom it takes for the leader."""
+        call.again = now + self._timings.call_ms * TRY_PART
+        call.round += 1
+        replica = self.replicas.get(call.group)
+        if replica is not None and replica.leading:
+            call.sent = True
+            return self._take(now, wall, call.group, call.command, lambda at, result: self._end(at, token, result))
+        to = self._leader(call.group, call.round)
+        if not to:
+            call.again = now + PAUSE_MS
+            return []
+        call.sent = True
+        body = encode(wall, call.command)
+        return [Send(to, Forward(token, call.group, body, MOST_HOPS))]
+
+    def _leader(self, group: str, round_: int) -> Id:
+        """Whom to ask: the leader as this member's replica knows it, as last heard, else one copy after the other."""
+        replica = self.replicas.get(group)
+        if replica is not None and replica.leader and replica.leader != self.me and round_ % 2 == 1:
+            return replica.leader
+        if round_ == 1 and group in self._routes:
+            return self._routes[group]
+        alive = self.membership.alive()
+        others = [who for who in self._placed.get(group, ()) if who != self.me]
+        others = [who for who in others if who in alive] or others
+        return others[round_ % len(others)] if others else ""
+
+    def _end(self, now: float, token: str, result: Applied | FleetError) -> list[Effect]:
+        call = self._calls.get(token)
+        if call is None:
+            return []  # it had its answer, or its time
+        if isinstance(result, NoLeader | Crowded) and now + PAUSE_MS < call.until:
+            call.again = now + PAUSE_MS * self._draw.uniform(0.5, 1.5)  # nothing was taken: try again
+            return []
+        if isinstance(result, UnknownOutcome) and now + PAUSE_MS < call.until:
+            call.again = now + PAUSE_MS  # its id, or the order that it states, makes a repeat harmless
+            return []
+        del self._calls[token]
+        return call.answer(now, result)
+
+    def _take(self, now: float, wall: float, group: str, command: Command,
+              answer: Callable[[float, Applied | FleetError], list[Effect]]) -> list[Effect]:
+        """Let the replica here, which leads, carry a command out."""
+        token = self._token()
+
+        def looked(at: float, result: Any) -> list[Effect]:
+            return answer(at, self.states[group].look(command) if result is None else result)
+
+        self._ours[token] = looked if command.reads else answer
+        return self._feed(now, group, Read(token) if command.reads else Propose(token, encode(wall, command)))
+
+    def _forwarded(self, now: float, wall: float, sender: Id, message: Forward) -> list[Effect]:
+        """A call of another member."""
+        def reply(at: float, result: Applied | FleetError) -> list[Effect]:
+            leader = self.replicas[message.group].leader if message.group in self.replicas else ""
+            body = msgspec.msgpack.encode(
+                [result, None, leader] if isinstance(result, Applied) else [None, result, leader])
+            return [Send(sender, Reply(message.token, body))]
+
+        try:
+            _, command = decode(message.body)
+        except msgspec.DecodeError as fault:
+            return reply(now, BadCall(message.group, str(fault)))
+        problem = command.fault()
+        if problem:
+            return reply(now, BadCall(command.id, problem))
+        replica = self.replicas.get(message.group)
+        if self._broken is not None or replica is None:
+            return reply(now, self._broken or NoLeader(message.group, f"no copy at {self.setup.me}"))
+        if replica.leading:
+            return self._take(now, wall, message.group, command, reply)
+        return reply(now, NoLeader(message.group, f"not led by {self.setup.me}"))
+
+    def _replied(self, now: float, wall: float, sender: Id, message: Reply) -> list[Effect]:
+        call = self._calls.get(message.token)
+        if call is None:
+            return []
+        try:
+            applied, error, leader = _replies.decode(message.body)
+        except msgspec.DecodeError:
+            return []  # it is asked again, or ends as unknown
+        result = applied if applied is not None else error
+        if result is None:
+            return []
+        if leader:
+            self._routes[call.group] = leader
+        elif self._routes.get(call.group) == sender:
+            del self._routes[call.group]
+        if isinstance(result, NoLeader) and leader and leader != sender and leader != self.me:
+            call.round = 0
+            call.again = now + self._timings.call_ms * TRY_PART
+            return [Send(leader, Forward(message.token, call.group, encode(wall, call.command), MOST_HOPS))]
+        return self._end(now, message.token, result)
+
+    # A leader's work ----------------------------------------------------------------------------------------
+
+    def _view(self, now: float, wall: float, replica: Replica) -> View:
+        """What the parts of a group led here may look at."""
+        places, load = self._places, self.load
+        if replica.group == FLEET:
+            parts = self.states[FLEET].parts
+            places = parts["placing"]
+            load = {**load, "promised": parts["contracts"].promised(wall, wall + parts["rolls"].horizon_ms())}
+        behind = {group: made.behind() for group, made in self.replicas.items() if made.leading}
+        return View(now, wall, self.me, replica.lead_since, self._timings, self.membership.alive(),
+                    self.membership.dead_for(now), self._halls, load, places.voters() or self._placed, behind)
+
+    def _work(self, now: float, wall: float, group: str, replica: Replica) -> list[Effect]:
+        """What the leader of a group has to see to."""
+        effects: list[Effect] = []
+        state = self.states[group]
+        commands = state.work(self._view(now, wall, replica))
+        if group != FLEET:
+            commands += self._limits(group, state)
+        for command in commands:
+            if command.id not in self._working and len(self._working) < MOST_CALLS // 4:
+                self._working[command.id] = None
+                effects += self._ask(now, wall, command, self._worked(command))
+        return effects
+
+    def _limits(self, group: str, state: GroupState) -> list[Command]:
+        """Servers whose limit the group does not know as this gateway does."""
+        assert self.founding.record is not None
+        known, idle = state.parts["connections"].servers, self.setup.idle_ms
+        return [Limit(id=f"limit/{server}/{most}/{known[server].parts.whole if server in known else 0:g}/{state.index}",
+                      server=server, most=most, idle_ms=idle) for server, most in self.limits.items()
+                if (server not in known or known[server].parts.whole != most)
+                and group_of(bucket(server), self.founding.record.groups) == group]
+
+    def _worked(self, command: Command) -> Callable[[float, Applied | FleetError], list[Effect]]:
+        def answer(now: float, result: Applied | FleetError) -> list[Effect]:
+            self._working.pop(command.id, None)
+            return []
+        return answer
+
+    def _read_places(self, now: float, wall: float) -> list[Effect]:
+        """Where something is led here: bring its members in line with what the fleet's group wants."""
+        if self._reading or not any(replica.leading for replica in self.replicas.values()):
+            return []
+        self._reading = True
+
+        def read(at: float, result: Applied | FleetError) -> list[Effect]:
+            self._reading = False
+            if not isinstance(result, Applied) or result.error is not None:
+                return []
+            self._places = Placing(self._timings, self.rules)
+            self._places.load(result.value["state"])
+            self._placed = self._places.voters()
+            self.membership.know(at, (who for who, _ in self._places.members.values()))
+            effects: list[Effect] = []
+            for group, replica in list(self.replicas.items()):
+                if replica.leading and group not in self._changing and self._leaving is None:
+                    effects += self._members(at, wall, group, replica)
+            return effects
+
+        return self._ask(now, wall, Places(id=self._token()), read)
+
+    def _members(self, now: float, wall: float, group: str, replica: Replica) -> list[Effect]:
+        """One step of a change of members, or the report of how they stand."""
+        if replica.commit < replica.config_index:
+            return []
+        behind = replica.behind()
+        step = self._places.wanted(group, replica.config, behind, self.membership.alive())
+        if step is None:
+            report = self._places.report(group, replica.config, replica.config_index, behind)
+            if report is None or report.id in self._working:
+                return []
+            self._working[report.id] = None
+            return self._ask(now, wall, report, self._worked(report))
+        if step.act == "remove" and step.who == self.me:
+            return self._feed(now, group, HandOver())
+        token = self._token()
+        self._changing[group] = None
+
+        def changed(at: float, result: Any) -> list[Effect]:
+            self._changing.pop(group, None)
+            return []
+
+        self._ours[token] = changed
+        return self._feed(now, group, replace(step, token=token))
+
+    # For operators ------------------------------------------------------------------------------------------
 
     def status(self) -> dict[str, Any]:
-        """For operators: members as believed, groups with leader, copies and what is behind, contracts, rolls."""
-        raise NotImplementedError
+        """Members as believed, groups with leader, copies and what is behind; whether this one promises."""
+        return {
+            "me": self.me, "founded": self.founding.record is not None,
+            "promises": "yes" if self._broken is None else str(self._broken),
+            "members": {name: self.membership.state_of(name) for name in self._halls},
+            "groups": {group: {"leader": replica.leader, "term": replica.term, "commit": replica.commit,
+                               "voters": list(replica.config.voters), "learners": list(replica.config.learners),
+                               "behind": list(replica.behind()) if replica.leading else None}
+                       for group, replica in self.replicas.items()},
+            "invariants_broken": [f"{rule.name}: {facts}" for rule, facts in self.rules.broken]}
--- a/fleet/replica.py
+++ b/fleet/replica.py
@@ -206,6 +206,11 @@
         """The configuration that holds here; empty at a newcomer."""
         return self._log.config or Config(())
 
+    @property
+    def config_index(self) -> int:
+        """Where the configuration that holds here stands in the log; committed once `commit` is there."""
+        return self._log.config_index
+
     @property
     def last(self) -> int:
         """The last index of the log."""
--- a/fleet/setup.py
+++ b/fleet/setup.py
@@ -35,6 +35,7 @@
     timings: Timings = field(default_factory=Timings)
     capacity: float = 0.0  # units a second that contracts may take in all
     servers: dict[str, int] = field(default_factory=dict)  # the most connections that each server holds
+    idle_ms: float = 30_000.0  # so long after its last use a server has closed a connection for sure
 
     @property
     def id(self) -> Id:
--- a/fleet/state.py
+++ b/fleet/state.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from fleet import owed, promises
+from fleet import connections, contracts, groups, owed, promises, rollout
 from fleet.errors import BadCall, TakenId
 from fleet.invariants import Invariants, Rule
 from fleet.part import FLEET, Applied, Command, View
@@ -44,6 +44,11 @@
 
 REGISTRY = Registry()
 REGISTRY.add("promises", promises.COMMANDS, lambda timings, rules: promises.Promises(), False)
+REGISTRY.add("placing", groups.COMMANDS, groups.Placing, True)
+REGISTRY.add("contracts", contracts.FLEET_COMMANDS, contracts.Contracts, True)
+REGISTRY.add("rolls", rollout.COMMANDS, lambda timings, rules: rollout.Rolls(rules), True)
+REGISTRY.add("floors", contracts.TENANT_COMMANDS, contracts.Floors, False)
+REGISTRY.add("connections", connections.COMMANDS, lambda timings, rules: connections.Connections(rules, timings), False)
 REGISTRY.add("owed", owed.COMMANDS, lambda timings, rules: owed.Owed(), False)
 
 _encoder = msgspec.msgpack.Encoder()
