--- a/lab/stage/fleet.py
+++ b/lab/stage/fleet.py
@@ -14,7 +14,8 @@
 from collections.abc import Callable
 from typing import Any
 
-from fleet.groups import group_of
+from fleet.groups import copies_for, group_of
+from fleet.part import FLEET
 from lab.fleet.figures import FleetFigures
 from lab.stage.links import Links
 from lab.stage.process import STORE, GatewayProcess
@@ -201,7 +202,7 @@
         for me, status in self.seen.items():
             self._broken[me] = max(self._broken.get(me, 0), int(status.get("broken", 0)))
             for group, facts in status["groups"].items():
-                if facts["state"] == "leader":
+                if facts["behind"] is not None:  # it leads
                     self._leaders.setdefault((group, facts["term"]), set()).add(status["me"])
         if not self.majority():
             self.book.excuse(now)
@@ -212,7 +213,16 @@
 
     def whole(self) -> bool:
         """Whether each group has a leader that says so: all copies there, on members that run, and none behind."""
-        raise NotImplementedError
+        ids = {status["me"] for status in self.seen.values()}
+        count = copies_for(self.scenario.copies, self.scenario.gateways)
+        for group in (FLEET, *(f"g{number}" for number in range(GROUPS))):
+            leads = [facts for status in self.seen.values() if (facts := status["groups"].get(group)) is not None
+                     and facts["behind"] is not None]
+            facts = max(leads, key=lambda one: int(one["term"]), default=None)
+            if (facts is None or facts["behind"] or facts["learners"] or len(facts["voters"]) < count
+                    or not ids.issuperset(facts["voters"])):
+                return False
+        return True
 
     def _state(self) -> str:
         return json.dumps(self.seen, sort_keys=True)[:2000]
