--- a/fleet/node.py
+++ b/fleet/node.py
@@ -78,8 +78,10 @@
     until: float
     answer: Callable[[float, Applied | FleetError], list[Effect]]
     again: float  # when it is made again
-    round: int = 0
-    sent: bool = False  # some try may have been taken
+    round: int = 0  # of looking for the leader
+    tries: int = 0
+    open: int = 0  # the try that has no answer yet
+    maybe: bool = False  # an earlier try may have been taken: no answer came, or one that did not know
 
 
 def _nobody(now: float, result: Any) -> list[Effect]:
@@ -228,8 +230,8 @@
         for token, call in list(self._calls.items()):
             if call.until <= now:
                 del self._calls[token]
-                error = UnknownOutcome if call.sent and not call.command.reads else NoLeader
-                effects += call.answer(now, error(call.group, f"no answer within {self._timings.call_ms:g} ms"))
+                call.maybe = call.maybe or call.open > 0
+                effects += call.answer(now, self._final(call, NoLeader(call.group, "none was found in time")))
             elif call.again <= now:
                 effects += self._try(now, wall, token, call)
         if self._work_at <= now and self.founding.record is not None:
@@ -290,15 +292,32 @@
         call.round += 1
         replica = self.replicas.get(call.group)
         if replica is not None and replica.leading:
-            call.sent = True
-            return self._take(now, wall, call.group, call.command, lambda at, result: self._end(at, token, result))
+            number = self._number(call)
+            return self._take(now, wall, call.group, call.command,
+                              lambda at, result: self._end(at, token, number, result))
         to = self._leader(call.group, call.round)
         if not to:
             call.again = now + PAUSE_MS
             return []
-        call.sent = True
-        body = encode(wall, call.command)
-        return [Send(to, Forward(token, call.group, body, MOST_HOPS))]
+        return self._forward(wall, token, call, to)
+
+    @staticmethod
+    def _number(call: _Call) -> int:
+        """One more try; what is not known of the one before stays unknown."""
+        call.maybe = call.maybe or call.open > 0
+        call.tries += 1
+        call.open = call.tries
+        return call.tries
+
+    def _forward(self, wall: float, token: str, call: _Call, to: Id) -> list[Effect]:
+        return [Send(to, Forward(f"{token}.{self._number(call)}", call.group, encode(wall, call.command), MOST_HOPS))]
+
+    @staticmethod
+    def _final(call: _Call, result: Applied | FleetError) -> Applied | FleetError:
+        """What the caller is told: that nothing was taken, only where that is known of every try."""
+        if isinstance(result, FleetError) and call.maybe and not call.command.reads:
+            return UnknownOutcome(call.group, "no answer came to some try")
+        return result
 
     def _leader(self, group: str, round_: int) -> Id:
         """Whom to ask: the leader as this member's replica knows it, as last heard, else one copy after the other."""
@@ -312,18 +331,21 @@
         others = [who for who in others if who in alive] or others
         return others[round_ % len(others)] if others else ""
 
-    def _end(self, now: float, token: str, result: Applied | FleetError) -> list[Effect]:
+    def _end(self, now: float, token: str, number: int, result: Applied | FleetError) -> list[Effect]:
+        """What became of a try."""
         call = self._calls.get(token)
         if call is None:
             return []  # it had its answer, or its time
-        if isinstance(result, NoLeader | Crowded) and now + PAUSE_MS < call.until:
-            call.again = now + PAUSE_MS * self._draw.uniform(0.5, 1.5)  # nothing was taken: try again
-            return []
-        if isinstance(result, UnknownOutcome) and now + PAUSE_MS < call.until:
-            call.again = now + PAUSE_MS  # its id, or the order that it states, makes a repeat harmless
+        if call.open == number:
+            call.open = 0
+        if isinstance(result, NoLeader | Crowded | UnknownOutcome):
+            # It is made again: its id, or the order that it states, makes a repeat of what was taken harmless.
+            call.maybe = call.maybe or isinstance(result, UnknownOutcome)
+            if call.open == 0:
+                call.again = now + PAUSE_MS * self._draw.uniform(0.5, 1.5)
             return []
         del self._calls[token]
-        return call.answer(now, result)
+        return call.answer(now, self._final(call, result))
 
     def _take(self, now: float, wall: float, group: str, command: Command,
               answer: Callable[[float, Applied | FleetError], list[Effect]]) -> list[Effect]:
@@ -359,8 +381,9 @@
         return reply(now, NoLeader(message.group, f"not led by {self.setup.me}"))
 
     def _replied(self, now: float, wall: float, sender: Id, message: Reply) -> list[Effect]:
-        call = self._calls.get(message.token)
-        if call is None:
+        token, _, digits = message.token.rpartition(".")
+        call = self._calls.get(token)
+        if call is None or not digits.isdecimal():
             return []
         try:
             applied, error, leader = _replies.decode(message.body)
@@ -373,11 +396,12 @@
             self._routes[call.group] = leader
         elif self._routes.get(call.group) == sender:
             del self._routes[call.group]
-        if isinstance(result, NoLeader) and leader and leader != sender and leader != self.me:
-            call.round = 0
+        number = int(digits)
+        if isinstance(result, NoLeader) and number == call.open and leader not in ("", sender, self.me):
+            call.open = 0
             call.again = now + self._timings.call_ms * TRY_PART
-            return [Send(leader, Forward(message.token, call.group, encode(wall, call.command), MOST_HOPS))]
-        return self._end(now, message.token, result)
+            return self._forward(wall, token, call, leader)
+        return self._end(now, token, number, result)
 
     # A leader's work ----------------------------------------------------------------------------------------
 
