--- a/fleet/log.py
+++ b/fleet/log.py
@@ -30,7 +30,7 @@
         """From a store; ValueError where the entries do not go on from the snapshot, or are newer than the term.
 
         Entries of an older term than the snapshot's were overtaken by it (it came from a leader that never had them)
-        and are dropped: a store has no record for that, and the next append writes over them.
+        and are dropped, should a store have kept them; the next append writes over them.
         """
         snapshot, entries = saved.snapshot, saved.entries
         if snapshot is None:
--- a/fleet/replica.py
+++ b/fleet/replica.py
@@ -273,12 +273,15 @@
         return out
 
     def forget(self) -> list[Effect]:
-        """This member keeps no copy any more: its records go, and it answers nothing from here on."""
+        """This member keeps no copy any more: its log goes, and it answers nothing from here on.
+
+        Term and vote stay: taken in again under the same Id, it must not vote a second time in a term.
+        """
         out: list[Effect] = []
         self._out = out
         self._stop(0.0, NotThere(self.group, "no copy is kept here"))
         self._seq += 1
-        out.append(Store(self.group, self._seq, (Forget(),)))
+        out.append(Store(self.group, self._seq, (Forget(), HardState(self.term, self.vote))))
         return out
 
     def _flush(self) -> None:
--- a/tests/test_fleet_replica.py
+++ b/tests/test_fleet_replica.py
@@ -11,7 +11,7 @@
 import msgspec
 import pytest
 
-from fleet.errors import Crowded, FleetError, NoLeader, StoreFailed, UnknownOutcome, WrongState
+from fleet.errors import Crowded, FleetError, InvariantBroken, NoLeader, StoreFailed, UnknownOutcome, WrongState
 from fleet.events import (
     Change,
     Done,
@@ -617,6 +617,10 @@
     assert replica.handle(1.0, Received("d/1", Ask("g", 9, 0, 0, False))) == [] and replica.term == 0
     made = replica.handle(2.0, Received("d/1", Ask("g", 9, 3, 2, False)))
     assert replica.term == 9 and [vote.granted for vote in sent(stored(replica, 2.0, made), Vote)] == [True]
+    store = replica.forget()[-1]
+    assert isinstance(store, Store)
+    newcomer, _ = alone(write(Saved(), store), THREE)  # its vote outlives its log
+    assert newcomer.vote == "d/1" and newcomer.config == Config(())
     newcomer, _ = alone(Saved())
     assert newcomer.handle(1.0, Received("b/1", Ask("g", 9, 3, 2, False))) == [] and newcomer.due == float("inf")
 
@@ -635,6 +639,15 @@
                 replica.handle(2000.0, Received("b/0", Vote("g", 1, True, False)))
 
 
+def test_in_service_a_broken_rule_ends_the_copys_promises() -> None:
+    rules = Invariants(strict=False)
+    replica = ToldTooSoon("g", "a/1", Saved(), Kept(World(0, 0)), TIMINGS, random.Random(1), rules, 0.0, THREE)
+    made = replica.handle(1.0, Received("b/1", Ask("g", 1, 0, 0, False)))
+    assert not sent(made, Vote) and [rule for rule, _ in rules.broken] == [Rule.STORED_FIRST]
+    assert isinstance(replica.handle(2.0, Propose("p", b""))[0].result, InvariantBroken)  # type: ignore[union-attr]
+    assert replica.handle(2.0, Received("b/1", Append("g", 1, 0, 0, (), 0, 1))) == []
+
+
 @pytest.mark.parametrize("saved", [
     Saved(1, "", None, (Entry(1, 1, COMMAND, b""),)),
     Saved(1, "", Snapshot(3, 1, THREE, b"\x90"), (Entry(5, 1, COMMAND, b""),)),
