Run a gateway's share in a fleet: the [fleet] section, the shell around the node, FLEET calls

The decisions of the fleet need a clock, a disk, links and callers. [fleet] in the operators' file is checked whole, each fault by its key, and nothing of the fleet is loaded without it; the service brings the node its events and carries out its effects, groups what is stored for one frame under one fsync, ends its own part at a broken rule or a failure, and hands over at SIGTERM within a second. FLEET on the second address takes one JSON object and answers one line; errors are a table that a test compares with the code.

--- a/badgeryoke/cli/main.py
+++ b/badgeryoke/cli/main.py
@@ -83,7 +83,7 @@
             faults = [str(fault)]
     else:
         try:
-            read_operators(file)
+            read_operators(file, all_sections=True)
         except OperatorsError as fault:
             faults = fault.faults
     if as_json:
--- /dev/null
+++ b/badgeryoke/fleet/service.py
@@ -0,0 +1,369 @@
+"""The shell around `fleet.node`: brings it events, carries out its effects, and decides nothing.
+
+A gateway's share in the fleet may end before the gateway does: a store that breaks, or a rule of the code that does not
+hold, ends what this member promises, with an error that calls and `status` tell; requests go on.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import math
+import secrets
+import socket
+import time
+from collections.abc import Callable
+from pathlib import Path
+from random import Random
+from typing import Any, Protocol
+
+from tornado.netutil import bind_sockets
+
+from badgeryoke.fleet.calls import STATUS, line_of, read_call
+from badgeryoke.fleet.links import Links
+from badgeryoke.fleet.settings import Fleet, address
+from badgeryoke.fleet.store import HELD, Disk, StoreWriter, open_store
+from fleet.errors import Crowded, FleetError, InvariantBroken, NoLeader, StoreFailed, UnknownOutcome
+from fleet.events import (
+    Call,
+    Done,
+    Effect,
+    Entries,
+    HardState,
+    Leave,
+    NodeEvent,
+    Received,
+    Saved,
+    Say,
+    Send,
+    Store,
+    StoreBroke,
+    Stored,
+    Tick,
+)
+from fleet.groups import forced
+from fleet.invariants import Invariants, Rule
+from fleet.messages import AnyMessage, Id
+from fleet.node import Member, Node, Setup
+from fleet.part import Applied, Command
+
+log = logging.getLogger("badgeryoke.fleet")
+
+MOST_CALLS = 1024  # under way at this member; more are refused
+AGAIN_S = 0.2  # between tries for a folder or an address that a process before still holds
+LEAVE_S = 1.0  # for the node to hand its groups over at a planned end
+END_S = 0.5  # for the store's last transaction
+ANY_SERVER = "*"  # in Setup.servers: the limit of each server that is not named
+
+
+class NodeLike(Protocol):
+    """What is driven: fleet.node.Node, or a stand-in."""
+
+    due: float
+
+    def handle(self, now: float, wall: float, event: NodeEvent) -> list[Effect]: ...
+
+    def status(self) -> dict[str, Any]: ...
+
+
+MakeNode = Callable[[Setup, dict[str, Saved], Random, float, float, Invariants], NodeLike]
+
+
+def boot_ms() -> float:
+    """This machine's clock that never steps, and goes on while the machine is suspended, ms."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME) * 1000.0
+
+
+def setup_of(fleet: Fleet, name: str, incarnation: str) -> Setup:
+    """What the operators' file says, as a node is told it."""
+    servers = dict(fleet.servers.limits)
+    if fleet.servers.connections:
+        servers[ANY_SERVER] = fleet.servers.connections
+    return Setup(fleet.name, fleet.me or name, incarnation,
+                 tuple(Member(one.name, one.hall, one.address) for one in fleet.members),
+                 fleet.copies, fleet.groups, fleet.timings, fleet.capacity, servers)
+
+
+class Service:
+    """This gateway's share in the fleet.  `now` (ms) never steps; the wall clock is read once, at the start."""
+
+    def __init__(self, fleet: Fleet, name: str, make: MakeNode | None = None, now: Callable[[], float] = boot_ms,
+                 unix: Callable[[], float] = time.time) -> None:
+        self.fleet, self.me = fleet, fleet.me or name
+        self._make: MakeNode = make or Node
+        self._now = now
+        self._wall_less_now = unix() * 1000.0 - now()
+        self._loop = asyncio.get_running_loop()
+        self.rules = Invariants(strict=False, noted=self._noted)
+        self.node: NodeLike | None = None
+        self.failed: FleetError | None = None  # why this member promises nothing more
+        self.store_failed: FleetError | None = None
+        self.links: Links | None = None
+        self._writer: StoreWriter | None = None
+        self._calls: dict[str, asyncio.Future[Any]] = {}
+        self._last_token = 0
+        self._broken = 0
+        self._timer: asyncio.TimerHandle | None = None
+        self._timer_due = math.inf
+        self._starting: asyncio.Task[None] | None = None
+        self._left: asyncio.Task[None] | None = None
+        self._ended = False
+
+    def wall(self) -> float:
+        """Unix ms, as of the start: a step of the system's clock moves nothing."""
+        return self._now() + self._wall_less_now
+
+    # The beginning.
+
+    def start(self) -> None:
+        """Open the store, listen, and begin; all of it beside the gateway's own start."""
+        self._starting = self._loop.create_task(self._start())
+
+    async def _start(self) -> None:
+        try:
+            await self._begin()
+        except Exception:
+            log.exception("the fleet's part could not begin")
+            self._halt(InvariantBroken(self.me, "it could not begin; the log has the cause"))
+
+    async def _begin(self) -> None:
+        folder, waits = Path(self.fleet.folder), False
+        while not self._ended:
+            opened = await asyncio.to_thread(open_store, folder, self.fleet.name, self.me, self.fleet.fsync)
+            if isinstance(opened, Disk):
+                break
+            if not (isinstance(opened, StoreFailed) and opened.what.endswith(HELD)):
+                self._halt(opened)
+                return
+            if not waits:  # the process that this one replaces, mostly
+                log.warning("%s; waiting for it", opened)
+            waits = True
+            await asyncio.sleep(AGAIN_S)
+        else:
+            return
+        try:
+            await self._open(opened)
+        finally:
+            if self.node is None and self._writer is None:
+                opened.close()
+
+    async def _open(self, opened: Disk) -> None:
+        sockets = await self._bind()
+        if self._ended:
+            for one in sockets:
+                one.close()
+            return
+        for fault in opened.faults:
+            log.error("%s", fault)
+        setup = setup_of(self.fleet, self.me, opened.incarnation)
+        self._force(opened, setup.id)
+        self._writer = StoreWriter(opened, self._loop.call_soon_threadsafe, self._stored, self._store_broke)
+        self.links = Links(self.fleet.name, setup.id, {one.name: address(one.address) for one in self.fleet.members},
+                           self._received, self._link_error, Random(secrets.randbits(64)))
+        self.node = self._make(setup, opened.saved, Random(secrets.randbits(64)), self._now(), self.wall(), self.rules)
+        opened.saved = {}  # the node's own from here on
+        self.links.listen(sockets)
+        log.info("fleet %s: member %s, %d members, %d groups held", self.fleet.name, setup.id,
+                 len(setup.members), len(opened._groups))
+        self._feed(Tick())
+
+    async def _bind(self) -> list[socket.socket]:
+        """Listen on the own member's address, as soon as it is free."""
+        host, port = address(next(one.address for one in self.fleet.members if one.name == self.me))
+        waits = False
+        while not self._ended:
+            try:
+                return bind_sockets(port, host, socket.AF_INET6 if ":" in host else socket.AF_INET, 128)
+            except OSError as fault:
+                if not waits:
+                    log.error("the fleet's address %s:%d: %s; waiting for it", host, port, fault.strerror)
+                waits = True
+                await asyncio.sleep(AGAIN_S)
+        return []
+
+    def _force(self, disk: Disk, me: Id) -> None:
+        """[fleet.forced]: groups that have lost their majority for good go on from this copy alone."""
+        for group, lost in self.fleet.forced.items():
+            if (saved := disk.saved.get(group)) is None:
+                log.warning("fleet.forced.%s: this member holds no copy of it", group)
+                continue
+            made = forced(saved, group, me, lost, self.wall())
+            if made is saved:
+                log.warning("fleet.forced.%s: nothing to do: done already, or these are not all its other members; "
+                            "take the line out again", group)
+                continue
+            disk.write([Store(group, 0, (HardState(made.term, made.vote),
+                                         Entries(made.entries[len(saved.entries):])))])
+            disk.saved[group] = made
+            log.warning("fleet.forced.%s: BY HAND, the group goes on from this copy alone, without %s", group,
+                        ", ".join(lost))
+
+    # Events in, effects out.
+
+    def _feed(self, *events: NodeEvent) -> None:
+        """Hand events to the node; what it wants stored for all of them goes out together."""
+        stores: list[Store] = []
+        for event in events:
+            if self.node is None or self.failed is not None or self._ended:
+                return
+            try:
+                effects = self.node.handle(self._now(), self.wall(), event)
+            except Exception:
+                log.exception("the fleet's part failed at %s", type(event).__name__)
+                self._halt(InvariantBroken(self.me, f"it failed at {type(event).__name__}; the log has the cause"))
+                return
+            if self.rules.count > self._broken:  # what it wants now is built on what does not hold
+                rule, facts = self.rules.broken[-1]
+                self._broken = self.rules.count
+                self._halt(InvariantBroken(self.me, f"{rule.name}: {rule.value}: {facts}"))
+                return
+            for effect in effects:
+                self._carry_out(effect, stores)
+        if self._writer is not None:
+            self._writer.put(stores)
+        self._arm()
+
+    def _carry_out(self, effect: Effect, stores: list[Store]) -> None:
+        if isinstance(effect, Send):
+            assert self.links is not None
+            self.links.send(effect.to, effect.message)
+        elif isinstance(effect, Store):
+            stores.append(effect)
+        elif isinstance(effect, Done):
+            self._done(effect.token, effect.result)
+        else:
+            _say(effect)
+
+    def _arm(self) -> None:
+        """Have the next Tick come when it is due."""
+        if self.node is None or self.failed is not None or self.node.due >= self._timer_due:
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer_due = self.node.due
+        self._timer = self._loop.call_later(max(self._timer_due - self._now(), 1.0) / 1000.0, self._tick)
+
+    def _tick(self) -> None:
+        self._timer, self._timer_due = None, math.inf
+        self._feed(Tick())
+
+    def _received(self, sender: Id, messages: tuple[AnyMessage, ...]) -> None:
+        self._feed(*(Received(sender, message) for message in messages))
+
+    def _stored(self, those: list[Stored]) -> None:
+        self._feed(*those)
+
+    def _store_broke(self, error: FleetError) -> None:
+        self.store_failed = error
+        log.error("%s", error)
+        self._loop.call_soon(self._feed, StoreBroke(error))
+
+    def _link_error(self, error: FleetError) -> None:
+        log.warning("link: %s", error)
+
+    def _noted(self, rule: Rule, facts: str) -> None:
+        log.critical("invariant broken: %s: %s: %s", rule.name, rule.value, facts)
+
+    def _halt(self, error: FleetError) -> None:
+        """This member promises nothing more and says so; to the others it is as dead."""
+        if self.failed is not None:
+            return
+        self.failed = error
+        log.error("this member has no part in the fleet any more: %s", error)
+        if self._timer is not None:
+            self._timer.cancel()
+        if self.links is not None:
+            self.links.end()
+        for token in list(self._calls):
+            self._done(token, UnknownOutcome(self.me, f"this member stopped meanwhile: {error.code}"))
+
+    def _done(self, token: str, result: Any) -> None:
+        future = self._calls.pop(token, None)
+        if future is not None and not future.done():
+            future.set_result(result)
+
+    # What is asked of it.
+
+    async def call(self, command: Command) -> Applied | FleetError:
+        """Bring a command to the group that holds its key; comes back within twice `call_ms`."""
+        if self.failed is not None:
+            return self.failed
+        if self.node is None or self._ended:
+            return NoLeader(self.me, "this member is starting or ending")
+        if len(self._calls) >= MOST_CALLS:
+            return Crowded(self.me, f"{MOST_CALLS} calls are under way at this member")
+        try:
+            result: Any = await asyncio.wait_for(self._ask(lambda token: Call(token, command)),
+                                                 self.fleet.timings.call_ms * 2.0 / 1000.0)
+        except TimeoutError:
+            return UnknownOutcome(command.id, "no answer in time")
+        return result if isinstance(result, FleetError) else Applied(result) if not isinstance(
+            result, Applied) else result
+
+    async def _ask(self, event: Callable[[str], NodeEvent]) -> Any:
+        self._last_token += 1
+        token = f"{self.me}.{self._last_token}"
+        future = self._calls[token] = self._loop.create_future()
+        try:
+            self._feed(event(token))
+            return await future
+        finally:
+            self._calls.pop(token, None)
+
+    async def answer(self, raw: bytes) -> bytes:
+        """The operators' FLEET call: the rest of its line, and the line that answers it."""
+        read = read_call(raw)
+        if isinstance(read, Command):
+            return line_of(await self.call(read))
+        if read == STATUS:
+            return line_of(Applied(self.status()))
+        assert isinstance(read, FleetError)
+        return line_of(read)
+
+    def status(self) -> dict[str, Any]:
+        """For operators."""
+        found: dict[str, Any] = {"me": self.me, "groups": {}}
+        if self.node is not None and self.failed is None:
+            found |= self.node.status()
+        errors = [error for error in (self.failed, self.store_failed) if error is not None]
+        return found | {
+            "fleet": self.fleet.name, "broken": self.rules.count, "errors": [str(error) for error in errors],
+            "store": {"transactions": self._writer.transactions, "records": self._writer.records}
+            if self._writer is not None else {},
+            "links": self.links.status() if self.links is not None else {}}
+
+    # The end.
+
+    async def leave(self) -> None:
+        """A planned end is near: groups are handed over.  It goes on answering until `close`."""
+        if self._left is None:
+            self._left = self._loop.create_task(self._leave())
+        await asyncio.shield(self._left)
+
+    async def _leave(self) -> None:
+        if self.node is not None and self.failed is None and not self._ended:
+            try:
+                await asyncio.wait_for(self._ask(Leave), LEAVE_S)
+            except TimeoutError:
+                log.warning("not all groups were handed over in time")
+
+    def close(self) -> None:
+        """The end, at once: nothing more is told, heard or written."""
+        if self._ended:
+            return
+        self._ended = True
+        if self._timer is not None:
+            self._timer.cancel()
+        if self.links is not None and self.failed is None:
+            self.links.end()
+        if self._writer is not None:
+            self._writer.end(END_S)
+        for token in list(self._calls):
+            self._done(token, UnknownOutcome(self.me, "this member ended meanwhile"))
+
+
+def _say(line: Say) -> None:
+    level = logging.getLevelNamesMapping().get(line.level.upper(), logging.WARNING)
+    if log.isEnabledFor(level):
+        said = ", ".join(f"{key} {value}" for key, value in line.fields.items())
+        log.log(level, "%s%s", line.event, f": {said}" if said else "", extra={"fields": line.fields})
--- a/badgeryoke/fleet/store.py
+++ b/badgeryoke/fleet/store.py
@@ -44,6 +44,7 @@
 MOST_KEPT = 4  # damaged stores; beyond it the oldest goes
 MOST_WAITING = 64 * 1024 * 1024  # bytes asked for and not yet written; at the bound the store counts as failed
 CACHE_KB = 1024
+HELD = "another process holds it"
 _TOLD = struct.Struct(">QI")
 _WAL_HEAD, _FRAME_HEAD = struct.Struct(">8I"), struct.Struct(">6I")
 _MAGIC = 0x377F0682
@@ -354,7 +355,7 @@
         fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
     except OSError:
         os.close(lock)
-        return StoreFailed(member, f"{folder}: another process holds it")
+        return StoreFailed(member, f"{folder}: {HELD}")
     faults: list[FleetError] = []
     try:
         for _ in range(2):
--- a/badgeryoke/gateway.py
+++ b/badgeryoke/gateway.py
@@ -24,12 +24,14 @@
 from badgeryoke.diameter.server_link import DiameterServerLink
 from badgeryoke.drain import Drain, Effect, Event
 from badgeryoke.host_group import Host, HostGroup
+from badgeryoke.operators import NAME
 from badgeryoke.relay import Room
 from badgeryoke.resp.front import RespFront
 from badgeryoke.resp.server_link import RespServerLink
 from martenstep.interface import Members, State, Total, Verdict
 
 if TYPE_CHECKING:
+    from badgeryoke.fleet.service import Service
     from badgeryoke.handover.link import Giver
     from badgeryoke.management.front import ManagementFront
     from martenstep.handover import Handed
@@ -99,11 +101,20 @@
         self._drain = Drain()
         self._management: ManagementFront | None = None
         self._giver: Giver | None = None
+        self.fleet: Service | None = None
+        if (fleet := config.operators.fleet) is not None and all(
+                one.name != (fleet.me or config.name) for one in fleet.members):
+            raise ConfigError(f"{NAME}: fleet.me: {fleet.me or config.name!r} is no member")
         self._listening = False
         self.done = asyncio.Event()  # everything taken has its answer
 
     def start(self) -> None:
         """Listen, connect and watch."""
+        if self._config.operators.fleet is not None:
+            from badgeryoke.fleet.service import Service  # not loaded where no fleet is
+
+            self.fleet = Service(self._config.operators.fleet, self._config.name)
+            self.fleet.start()
         if self._counter is not None:
             self._counter.open()
         self._hosts.start()
@@ -172,6 +183,8 @@
         """The successor serves."""
         self.core.given(handed)
         self._drained(Event.SUCCEEDED)
+        if self.fleet is not None:  # the successor waits for the folder
+            self._parting = asyncio.ensure_future(self._part_with(self.fleet))
 
     async def run(self) -> None:
         """Serve until SIGTERM, then answer all that was taken."""
@@ -299,12 +312,30 @@
 
         return render(self.core.figures, Gauges(self.core.unanswered, len(self._links), self.core.avoided))
 
+    @property
+    def fleet_on(self) -> bool:
+        """Whether this gateway has a share in a fleet."""
+        return self.fleet is not None
+
+    async def fleet_call(self, call: bytes) -> bytes:
+        """One call for the fleet, JSON in and out (badgeryoke.fleet.calls)."""
+        if self.fleet is None:
+            return b"-ERR fleet is off: [fleet] in deploy/badgeryoke.toml switches it on\n"
+        return await self.fleet.answer(call)
+
     # The drain's effects.
 
+    async def _part_with(self, fleet: Service) -> None:
+        """What this gateway leads for the fleet is handed over, in a time that is bounded."""
+        await fleet.leave()
+        fleet.close()
+
     def end(self) -> None:
         """SIGTERM: go on taking connections for a while, answer everything, then stop."""
         if not self._drain.ending:
             log.info("ending: %d unanswered", self.core.unanswered)
+            if self.fleet is not None:
+                self._leaving = asyncio.ensure_future(self.fleet.leave())
         self._drained(Event.TERM)
 
     def _drained(self, event: Event, round_: int | None = None) -> None:
@@ -351,7 +382,11 @@
                     self._management.end()
                 if self._giver is not None:
                     self._giver.close()
-                self.done.set()
+                if self.fleet is not None:
+                    self._parting = asyncio.ensure_future(self._part_with(self.fleet))
+                    self._parting.add_done_callback(lambda _: self.done.set())
+                else:
+                    self.done.set()
 
     def _wait_no_longer(self) -> None:
         """SIGKILL is near.  A deadline beyond KILL_COUNTS_S may still run, and what ends here without an
--- a/badgeryoke/management/front.py
+++ b/badgeryoke/management/front.py
@@ -8,7 +8,9 @@
 
 # Callers at once; at the bound the oldest gives way.  Their descriptors lie beside those that links may have.
 MOST_CALLERS = 16
+FLEET_CALLERS = 48  # instead, where the fleet is on: its calls may wait 2 s for a leader
 MOST_LINE = 256  # bytes of a call
+FLEET, MOST_FLEET_LINE = b"FLEET ", 64 * 1024
 CALL_S = 5.0  # for a caller to finish its line: they wait 1 s for the answer themselves
 LINGER_S = 0.5  # for a caller to fetch its answer and close
 
@@ -28,6 +30,13 @@
     def metrics(self) -> str:
         """The figures, one a line."""
 
+    @property
+    def fleet_on(self) -> bool:
+        """Whether this gateway has a share in a fleet."""
+
+    async def fleet_call(self, call: bytes) -> bytes:
+        """The line that answers a FLEET call, given the rest of its own."""
+
 
 def answer(gateway: Operated, line: bytes) -> bytes:
     """What a line gets."""
@@ -42,7 +51,7 @@
         return b"-ERR %b\n" % why_not.encode() if why_not else b"+OK\n"
     if not word:
         return b"-ERR empty line\n"
-    return b"-ERR unknown call; known are STATUS, METRICS, PAUSE, RESUME\n"
+    return b"-ERR unknown call; known are STATUS, METRICS, PAUSE, RESUME, FLEET\n"
 
 
 class ManagementFront:
@@ -66,7 +75,7 @@
             self.end()
 
     async def _called(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        while len(self._callers) >= MOST_CALLERS:
+        while len(self._callers) >= (FLEET_CALLERS if self._gateway.fleet_on else MOST_CALLERS):
             oldest = next(iter(self._callers))
             del self._callers[oldest]
             oldest.transport.abort()
@@ -84,9 +93,19 @@
 
     async def _answer(self, reader: asyncio.StreamReader) -> bytes:
         try:
-            return answer(self._gateway, await reader.readuntil(b"\n"))
-        except asyncio.LimitOverrunError:
-            return b"-ERR line too long\n"
+            line = await reader.readuntil(b"\n")
+        except asyncio.LimitOverrunError as fault:
+            line = await reader.readexactly(fault.consumed)
+            while line.startswith(FLEET) and b"\n" not in line and len(line) <= MOST_FLEET_LINE:
+                if not (more := await reader.read(4096)):
+                    break
+                line += more
+            line, end, _ = line.partition(b"\n")
+            if not (end and line.startswith(FLEET) and len(line) <= MOST_FLEET_LINE):
+                return b"-ERR line too long\n"
+        if line.startswith(FLEET) or line.strip() == FLEET.strip():
+            return await self._gateway.fleet_call(line[len(FLEET):].strip())
+        return answer(self._gateway, line)
 
     def end(self) -> None:
         """The process ends."""
--- a/badgeryoke/operators.py
+++ b/badgeryoke/operators.py
@@ -43,9 +43,10 @@
 
     counter_watch: CounterWatch = CounterWatch()
     log: Log = Log()
+    fleet: Any = None  # badgeryoke.fleet.settings.Fleet where it is switched on; loaded with it alone
 
 
-def _unknown(raw: dict[str, Any], kind: type[msgspec.Struct], path: str) -> list[str]:
+def unknown(raw: dict[str, Any], kind: type[msgspec.Struct], path: str) -> list[str]:
     """Every key that is not known, each with the nearest that is."""
     fields = {field.encode_name: field.type for field in msgspec.structs.fields(kind)}
     faults = []
@@ -56,11 +57,11 @@
             faults.append(f"{path}{key}: unknown; {hint}")
         elif isinstance(value, dict) and isinstance(fields[key], type) and issubclass(
                 fields[key], msgspec.Struct):
-            faults += _unknown(value, fields[key], f"{path}{key}.")
+            faults += unknown(value, fields[key], f"{path}{key}.")
     return faults
 
 
-def _wrong(raw: dict[str, Any], kind: type[msgspec.Struct], path: str) -> list[str]:
+def wrong(raw: dict[str, Any], kind: type[msgspec.Struct], path: str) -> list[str]:
     """Every value of the wrong form, looked at one by one so that all are told at once."""
     faults = []
     for field in msgspec.structs.fields(kind):
@@ -68,7 +69,7 @@
             continue
         value, inner = raw[field.encode_name], field.type
         if isinstance(inner, type) and issubclass(inner, msgspec.Struct) and isinstance(value, dict):
-            faults += _wrong(value, inner, f"{path}{field.encode_name}.")
+            faults += wrong(value, inner, f"{path}{field.encode_name}.")
             continue
         try:
             msgspec.convert(value, inner)
@@ -78,8 +79,11 @@
     return faults
 
 
-def read_operators(path: Path) -> Operators:
-    """The file at a path; defaults where there is none.  Raises OperatorsError with all faults."""
+def read_operators(path: Path, all_sections: bool = False) -> Operators:
+    """The file at a path; defaults where there is none.  Raises OperatorsError with all faults.
+
+    What is switched off and costs a library to read, [fleet], is looked at with `all_sections` only.
+    """
     try:
         text = path.read_bytes()[:MOST_BYTES].decode()
     except FileNotFoundError:
@@ -90,7 +94,16 @@
         raw = tomllib.loads(text)
     except tomllib.TOMLDecodeError as fault:
         raise OperatorsError([f"{path.name}: {fault}"]) from None
-    faults = _unknown(raw, Operators, "") + _wrong(raw, Operators, "")
+    section = raw.pop("fleet", {})
+    faults = unknown(raw, Operators, "") + wrong(raw, Operators, "")
+    fleet = None
+    if not isinstance(section, dict):
+        faults.append(f"fleet: expected a table, got {section!r}")
+    elif section.get("enabled", False) is not False or (all_sections and set(section) > {"enabled"}):
+        from badgeryoke.fleet.settings import read_fleet
+
+        fleet, found = read_fleet(section)
+        faults += found
     if faults:
         raise OperatorsError([f"{path.name}: {fault}" for fault in faults])
-    return msgspec.convert(raw, Operators)
+    return msgspec.convert({**raw, "fleet": fleet if fleet is not None and fleet.enabled else None}, Operators)
--- /dev/null
+++ b/tests/test_fleet_service.py
@@ -0,0 +1,441 @@
+"""The fleet's section, its calls, and the shell around the node: a stand-in takes the node's place."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import math
+import re
+import socket
+import subprocess
+import sys
+from collections.abc import AsyncIterator, Callable, Iterator
+from contextlib import asynccontextmanager
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+
+from badgeryoke.config import ConfigError
+from badgeryoke.fleet import service as service_module
+from badgeryoke.fleet.calls import line_of, read_call
+from badgeryoke.fleet.service import Service, setup_of
+from badgeryoke.fleet.settings import Fleet
+from badgeryoke.fleet.store import Disk, StoreWriter, open_store
+from badgeryoke.gateway import App
+from badgeryoke.operators import Operators, OperatorsError, read_operators
+from fleet import errors
+from fleet.events import (
+    Call,
+    Done,
+    Entries,
+    HardState,
+    Leave,
+    Received,
+    Say,
+    Send,
+    Snapshot,
+    Store,
+    StoreBroke,
+    Stored,
+    Tick,
+)
+from fleet.invariants import Rule
+from fleet.messages import NOTHING, Config, Entry, Vote
+from fleet.part import Applied
+from fleet.promises import Promise
+from tests.standins import HOST, Backend, Discovery, config, connect, entry, gateway, roster
+from tests.test_service import until
+
+ROOT = Path(__file__).resolve().parent.parent
+MEMBERS = "\n".join(f'[[fleet.members]]\nname = "{name}"\nhall = "h"\naddress = "{HOST}:{port}"'
+                    for name, port in (("a", 7001), ("b", 7002), ("c", 7003)))
+GOOD = 'enabled = true\nname = "f"\nfolder = "/tmp/f"'
+
+
+def written(tmp_path: Path, head: str, members: str = MEMBERS) -> Path:
+    path = tmp_path / "badgeryoke.toml"
+    path.write_text(f"[fleet]\n{head}\n{members}\n")
+    return path
+
+
+# The operators' file --------------------------------------------------------------------------------------------------
+
+
+def test_a_good_section_and_a_setup_of_it(tmp_path: Path) -> None:
+    fleet = read_operators(written(tmp_path, f"""{GOOD}
+        me = "b"\ncopies = 3\ntimings = {{ lease_ms = 4000.0 }}
+        servers = {{ connections = 24, limits = {{ s1 = 8 }} }}\nforced = {{ g1 = ["a/1", "c/2"] }}""")).fleet
+    made = setup_of(fleet, "gw", "x1")
+    assert (made.id, made.copies, made.timings.lease_ms) == ("b/x1", 3, 4000.0)
+    assert made.servers == {"*": 24, "s1": 8} and [one.name for one in made.members] == ["a", "b", "c"]
+    assert setup_of(msgspec.structs.replace(fleet, me=""), "c", "x1").me == "c"
+
+
+@pytest.mark.parametrize(("head", "members", "key"), [
+    ("enabled = true", MEMBERS, "fleet.name: expected"),
+    ('enabled = true\nname = "f"', MEMBERS, "fleet.folder: missing"),
+    (f"{GOOD}\ncopies = 2", MEMBERS, "fleet.copies: expected 3 or 5"),
+    (f"{GOOD}\ncopies = 5", MEMBERS, "fleet.members: 3 cannot hold 5"),
+    (f"{GOOD}\ngroups = 0", MEMBERS, "fleet.groups: expected 1 to"),
+    (f"{GOOD}\ncapacity = -1.0", MEMBERS, "fleet.capacity"),
+    (f'{GOOD}\ncapacity = "all"', MEMBERS, "fleet.capacity: Expected float"),
+    (f"{GOOD}\ncopy = 3", MEMBERS, "fleet.copy: unknown; did you mean fleet.copies?"),
+    (f'{GOOD}\nme = "z"', MEMBERS, "fleet.me: 'z' is no member"),
+    (GOOD, MEMBERS.replace('"b"', '"a"'), "fleet.members[1].name: 'a' stands twice"),
+    (GOOD, MEMBERS.replace("7002", "7001"), "fleet.members[0].address: '127.0.0.1:7001' stands twice"),
+    (GOOD, MEMBERS.replace(f"{HOST}:7003", "host:7003"), "fleet.members[2].address: expected IP:PORT"),
+    (GOOD, MEMBERS.replace('name = "c"', 'name = "c/1"'), "fleet.members[2].name: expected"),
+    (GOOD, MEMBERS.replace('name = "c"\n', ""), "fleet.members[2].name: missing"),
+    (GOOD, MEMBERS.replace("hall", "haul"), "fleet.members[0].haul: unknown; did you mean fleet.members[0].hall?"),
+    (f"{GOOD}\nmembers = 3", "", "fleet.members: expected tables"),
+    (f"{GOOD}\ntimings = {{ lease_ms = 100.0 }}", MEMBERS, "fleet.timings.lease_ms: expected two election_ms"),
+    (f"{GOOD}\ntimings = {{ lease = 100.0 }}", MEMBERS, "fleet.timings.lease: unknown"),
+    (f"{GOOD}\nservers = {{ limits = {{ s1 = 0 }} }}", MEMBERS, "fleet.servers.limits.s1: expected 1 to"),
+    (f"{GOOD}\nservers = {{ connections = -1 }}", MEMBERS, "fleet.servers.connections: expected 0 to"),
+    (f'{GOOD}\nforced = {{ h1 = ["a/1"] }}', MEMBERS, "fleet.forced.h1: expected a group"),
+    (f'{GOOD}\nforced = {{ g1 = ["a"] }}', MEMBERS, "fleet.forced.g1: expected the members given up"),
+])
+def test_every_fault_is_named_by_its_key(head: str, members: str, key: str, tmp_path: Path) -> None:
+    with pytest.raises(OperatorsError, match=re.escape(key)):
+        read_operators(written(tmp_path, head, members))
+    off = written(tmp_path, head.replace("enabled = true", "enabled = false"), members)
+    with pytest.raises(OperatorsError, match=re.escape(key)):
+        read_operators(off, all_sections=True)  # as `check` reads it
+    assert read_operators(off).fleet is None
+
+
+def test_a_member_that_is_not_named_does_not_start(tmp_path: Path) -> None:
+    fleet = read_operators(written(tmp_path, GOOD)).fleet
+
+    async def test() -> None:
+        made = replace(config(1, None, roster()), name="gw-9", operators=Operators(fleet=fleet))
+        with pytest.raises(ConfigError, match=r"fleet.me: 'gw-9' is no member"):
+            App(made)
+
+    asyncio.run(test())
+
+
+def test_a_gateway_without_a_fleet_loads_nothing_of_it() -> None:
+    script = ("import sys, pathlib, badgeryoke.__main__, badgeryoke.management.front; "
+              "from badgeryoke.operators import read_operators; "
+              "print(read_operators(pathlib.Path('deploy/badgeryoke.toml')).fleet, [m for m in sys.modules "
+              "if 'fleet' in m.split('.') or m in ('sqlite3', 'xxhash')])")
+    said = subprocess.run([sys.executable, "-c", script], cwd=ROOT, capture_output=True, text=True, check=True)
+    assert said.stdout.strip() == "None []"
+
+
+def test_the_page_of_errors_is_the_table_in_the_code() -> None:
+    """docs/operators/errors.md has one row for each, in order, with the words of the code."""
+    rows = re.findall(r"^\| `([a-z-]+)` \| (.*?) \| (.*?) \| (yes|no) \|$",
+                      (ROOT / "docs/operators/errors.md").read_text(), re.M)
+    assert rows == [(one.code, " ".join((one.__doc__ or "").split()).rstrip("."), one.do, "yes" if one.retry else "no")
+                    for one in errors.ALL]
+    assert all(one.code and one.do for one in errors.ALL)
+    assert sorted(one.code for one in errors.FleetError.__subclasses__()) == sorted(one.code for one in errors.ALL)
+
+
+# Calls ----------------------------------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(("raw", "whom", "what"), [
+    (b"", "call", "expected one JSON object"), (b"{", "call", "expected one JSON object"),
+    (b"[1]", "call", "expected one JSON object"), (b"\xff", "call", "expected one JSON object"),
+    (b"[" * 60_000, "call", "expected one JSON object"),
+    (b"{}", "do", "missing"), (b'{"do": 3}', "do", "missing"),
+    (b'{"do": "promis"}', "do", "did you mean Promise?"), (b'{"do": "Pass", "id": "1"}', "do", "'Pass' is unknown"),
+    (b'{"do": "put", "name": "n", "value": "v"}', "id", "missing"),
+    (b'{"do": "put", "id": "", "name": "n", "value": "v"}', "id", "expected 1 to"),
+    (b'{"do": "put", "id": 1, "name": "n", "value": "v"}', "id", "Expected str"),
+    (b'{"do": "put", "id": "1", "name": "n"}', "call", "missing required field value"),
+    (b'{"do": "put", "id": "1", "nam": "n"}', "nam", "did you mean name?"),
+    (b'{"do": "put", "id": "1", "name": "", "value": ""}', "name", "expected 1 to 128"),
+])
+def test_a_bad_call_names_its_key(raw: bytes, whom: str, what: str) -> None:
+    read = read_call(raw)
+    assert isinstance(read, errors.BadCall) and read.whom == whom and what in read.what
+    said = json.loads(line_of(read).removeprefix(b"-ERR "))
+    assert said["error"] == "bad-call" and said["do"] == errors.BadCall.do and said["whom"] == whom
+
+
+def test_calls_are_known_by_several_writings() -> None:
+    put = Promise(id="1", name="n", value="v")
+    for word in ("put", "Promise", "promise"):
+        assert read_call(json.dumps({"do": word, "id": "1", "name": "n", "value": "v"}).encode()) == put
+    for word in ("get", "PromiseRead", "promise-read", "promise_read"):
+        read = read_call(json.dumps({"do": word, "name": "n"}).encode())
+        assert not isinstance(read, str | errors.FleetError) and read.reads and read.id
+    assert read_call(b'{"do": "Status"}') == "status"
+    assert line_of(Applied({"a": 1})) == b'+OK {"a":1}\n'
+
+
+# The service ----------------------------------------------------------------------------------------------------------
+
+
+class Script:
+    """In the node's place: notes events, and does what a test lays out."""
+
+    def __init__(self, *told: Any) -> None:
+        self.setup, self.saved, _, self.began, _, self.rules = told
+        self.events: list[Any] = []
+        self.due = math.inf
+        self.does: Callable[[Any], list[Any]] = lambda event: []
+
+    def handle(self, now: float, wall: float, event: Any) -> list[Any]:
+        self.events.append(event)
+        self.due = math.inf
+        return self.does(event)
+
+    def status(self) -> dict[str, Any]:
+        return {"groups": {"g0": {"state": "leader", "term": 3}}}
+
+    def seen(self, kind: type) -> list[Any]:
+        return [one for one in self.events if isinstance(one, kind)]
+
+
+def free() -> int:
+    with socket.create_server((HOST, 0)) as one:
+        return int(one.getsockname()[1])
+
+
+def section(folder: Path, **changes: Any) -> Fleet:
+    members = [{"name": name, "hall": "h", "address": f"{HOST}:{port}"}
+               for name, port in (("a", free()), ("b", 1), ("c", 2))]
+    return msgspec.convert({"enabled": True, "name": "f", "folder": str(folder / "s"), "members": members,
+                            "timings": {"call_ms": 200.0}, **changes}, Fleet)
+
+
+@asynccontextmanager
+async def begun(folder: Path, **changes: Any) -> AsyncIterator[tuple[Service, Script]]:
+    made = Service(section(folder, **changes), "a", make=Script)
+    made.start()
+    await until(lambda: made.node is not None or made.failed is not None)
+    node = made.node
+    assert isinstance(node, Script)
+    try:
+        yield made, node
+    finally:
+        made.close()
+
+
+def play(test: Callable[[], Any]) -> None:
+    asyncio.run(asyncio.wait_for(test(), 20))
+
+
+def test_events_go_in_and_effects_are_carried_out(tmp_path: Path, caplog: pytest.LogCaptureFixture) -> None:
+    async def test() -> None:
+        async with begun(tmp_path) as (made, node):
+            assert isinstance(node.events[0], Tick) and node.setup.id == f"a/{node.setup.incarnation}"
+
+            def does(event: Any) -> list[Any]:
+                if isinstance(event, Call):
+                    return [Say("warning", "asked", {"of": event.command.name}),
+                            Store("g", 1, (HardState(1, "a/1"),)), Store("h", 2, (HardState(2, ""),)),
+                            Send("b/1", Vote("g", 1, True, False))]
+                if isinstance(event, Stored) and event.group == "h":
+                    return [Done("a.1", Applied("kept")), Done("a.1", "twice"), Done("nobody", None)]
+                return []
+
+            node.does = does
+            assert await made.answer(b'{"do": "put", "id": "1", "name": "n", "value": "v"}') == b'+OK "kept"\n'
+            assert node.seen(Stored) == [Stored("g", 1), Stored("h", 2)] and made._writer is not None
+            assert made._writer.transactions == 1 and "asked: of n" in caplog.text
+            assert made.links is not None
+            made.links._receive("b/1", (Vote("g", 1, True, False),))
+            assert node.seen(Received) == [Received("b/1", Vote("g", 1, True, False))]
+            status = json.loads((await made.answer(b'{"do": "status"}')).removeprefix(b"+OK "))
+            assert status["groups"]["g0"]["state"] == "leader" and status["broken"] == 0 and not status["errors"]
+
+    play(test)
+
+
+def test_a_tick_comes_when_it_is_due(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with begun(tmp_path) as (made, node):
+            before = len(node.seen(Tick))
+
+            def does(event: Any) -> list[Any]:
+                node.due = made._now() + 5.0 if len(node.seen(Tick)) < before + 3 else math.inf
+                return []
+
+            node.does = does
+            made._feed(Tick())
+            await until(lambda: len(node.seen(Tick)) == before + 3)
+            assert made._timer is None
+
+    play(test)
+
+
+def test_no_answer_is_an_unknown_outcome_and_leaving_is_bounded(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(service_module, "LEAVE_S", 0.02)
+
+    async def test() -> None:
+        async with begun(tmp_path) as (made, node):
+            assert isinstance(await made.call(Promise(id="1", name="n", value="v")), errors.UnknownOutcome)
+            assert not made._calls
+            await made.leave()
+            await made.leave()
+            assert len(node.seen(Leave)) == 1
+            asked = asyncio.ensure_future(made.call(Promise(id="2", name="n", value="v")))
+            await until(lambda: len(node.seen(Call)) == 2)
+            made.close()
+            assert isinstance(await asked, errors.UnknownOutcome)
+            assert isinstance(await made.call(Promise(id="2", name="n", value="v")), errors.NoLeader)
+
+    play(test)
+
+
+def broken(node: Script) -> Callable[[Any], list[Any]]:
+    def does(event: Any) -> list[Any]:
+        node.rules.check(Rule.VOTE_ONCE, False, lambda: "two in term 3")
+        return [Done("a.1", Applied("a lie"))]
+    return does
+
+
+def failing(node: Script) -> Callable[[Any], list[Any]]:
+    def does(event: Any) -> list[Any]:
+        raise ValueError("no such group")
+    return does
+
+
+@pytest.mark.parametrize(("way", "word"), [(broken, "VOTE_ONCE"), (failing, "the log has the cause")])
+def test_a_rule_that_does_not_hold_ends_the_part_and_nothing_else(
+        way: Callable[[Script], Callable[[Any], list[Any]]], word: str, tmp_path: Path) -> None:
+    """What it wanted done behind the broken rule is not done; calls under way are told that nobody knows."""
+    async def test() -> None:
+        async with begun(tmp_path) as (made, node):
+            node.does = way(node)
+            assert isinstance(await made.call(Promise(id="1", name="n", value="v")), errors.UnknownOutcome)
+            after = await made.call(Promise(id="1", name="n", value="v"))
+            assert isinstance(after, errors.InvariantBroken) and word in after.what
+            events = len(node.events)
+            made._feed(Tick())
+            assert len(node.events) == events
+            said = json.loads((await made.answer(b'{"do": "status"}')).removeprefix(b"+OK "))
+            assert "invariant-broken" in said["errors"][0]
+
+    play(test)
+
+
+def test_a_store_that_breaks_is_told_to_the_node_once(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    def full(*_: Any) -> None:
+        raise OSError(28, "No space left on device")
+
+    async def test() -> None:
+        async with begun(tmp_path) as (made, node):
+            monkeypatch.setattr(Disk, "write", full)
+            node.does = lambda event: [Store("g", 1, (HardState(1, ""),))]
+            made._feed(Tick())
+            made._feed(Tick())
+            await until(lambda: node.seen(StoreBroke))
+            made._feed(Tick())
+            assert not node.seen(Stored) and len(node.seen(StoreBroke)) == 1 and made.failed is None
+            assert "store-failed" in made.status()["errors"][0]
+
+    play(test)
+
+
+def test_the_folder_of_a_process_before_is_waited_for(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(service_module, "AGAIN_S", 0.01)
+
+    async def test() -> None:
+        held = open_store(tmp_path / "s", "f", "a")
+        assert isinstance(held, Disk)
+        made = Service(section(tmp_path), "a", make=Script)
+        made.start()
+        assert isinstance(await made.call(Promise(id="1", name="n", value="v")), errors.NoLeader)
+        await asyncio.sleep(0.05)
+        assert made.node is None
+        held.close()
+        await until(lambda: made.node is not None)
+        made.close()
+        other = Service(section(tmp_path, name="other"), "a", make=Script)
+        other.start()
+        await until(lambda: other.failed is not None)
+        assert isinstance(other.failed, errors.AnotherFleet)
+        other.close()
+
+    play(test)
+
+
+def test_a_group_without_a_majority_goes_on_by_hand_once(tmp_path: Path, caplog: pytest.LogCaptureFixture) -> None:
+    me, others = "a/x1", ("b/1", "c/1")
+    disk = open_store(tmp_path / "s", "f", "a", fresh=lambda: "x1")
+    assert isinstance(disk, Disk)
+    disk.write([Store("g1", 0, (HardState(4, ""), Snapshot(1, 1, Config((me, *others)), b""),
+                                Entries((Entry(2, 4, NOTHING, b""),))))])
+    disk.close()
+
+    async def test() -> None:
+        for words, count in (("BY HAND", 4), ("nothing to do", 4)):
+            async with begun(tmp_path, forced={"g1": others, "g2": others}) as (_, node):
+                assert words in caplog.text and "fleet.forced.g2: this member holds no copy" in caplog.text
+                assert node.saved["g1"].vote == me and len(node.saved["g1"].entries) == count
+            caplog.clear()
+
+    play(test)
+
+
+# At the gateway -------------------------------------------------------------------------------------------------------
+
+
+@contextlib.contextmanager
+def scripted(monkeypatch: pytest.MonkeyPatch) -> Iterator[None]:
+    with monkeypatch.context() as patched:
+        patched.setattr(service_module, "Node", Script)
+        yield
+
+
+async def call(app: App, line: bytes) -> bytes:
+    reader, writer = await connect(app.mgmt_address)
+    writer.write(line)
+    said = await reader.read()
+    writer.close()
+    return said
+
+
+def test_the_second_address_takes_fleet_calls_and_the_end_waits_for_the_node(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        async with Backend() as node, Discovery(entry("a", node.port)) as list_:
+            made = replace(config(list_.port, None, roster(entry("a", node.port))), mgmt=(HOST, 0), drain_s=0.01)
+            async with gateway(made) as app:
+                assert (await call(app, b"FLEET {}\n")).startswith(b"-ERR fleet is off:")
+                assert await call(app, b"FLEET " + b"x" * 300 + b"\n") == await call(app, b"FLEET\n")
+            made = replace(made, name="a", operators=Operators(fleet=section(tmp_path)))
+            async with gateway(made) as app:
+                await until(lambda: app.fleet is not None and app.fleet.node is not None)
+                assert app.fleet is not None
+                script = app.fleet.node
+                assert isinstance(script, Script)
+                script.does = lambda event: [Done("a.1", Applied([1]))] if isinstance(event, Call) else [
+                    Done(event.token, None)] if isinstance(event, Leave) else []
+                long = json.dumps({"do": "put", "id": "1", "name": "n", "value": "v" * 1000}).encode()
+                assert await call(app, b"FLEET " + long + b"\n") == b"+OK [1]\n"
+                for line in (b"FLEET " + b"x" * 70_000 + b"\n", b"y" * 300 + b"\n", b"y" * 300):
+                    assert await call(app, line) == b"-ERR line too long\n"
+                assert (await call(app, b"FLEET {}\n")).startswith(b'-ERR {"error":"bad-call","whom":"do"')
+                app.end()
+                await app.done.wait()
+                assert len(script.seen(Leave)) == 1
+                again = open_store(tmp_path / "s", "f", "a")  # let go
+                assert isinstance(again, Disk)
+                again.close()
+
+    with scripted(monkeypatch):
+        play(test)
+
+
+def test_a_writer_that_has_ended_takes_nothing(tmp_path: Path) -> None:
+    disk = open_store(tmp_path / "s", "f", "a")
+    assert isinstance(disk, Disk)
+    writer = StoreWriter(disk, lambda *_: None, lambda _: None, lambda _: None)
+    writer.end(10)
+    writer.put([Store("g", 1, (HardState(1, ""),))])
+    again = open_store(tmp_path / "s", "f", "a")
+    assert isinstance(again, Disk) and not again.saved
+    again.close()
