Tell a learner that is not committed yet from a member that was let go

A learner saw its own entry before that was committed and counted as removed when the entry was not, or not yet, committed here. Only a committed configuration makes a member.

--- a/fleet/replica.py
+++ b/fleet/replica.py
@@ -170,7 +170,8 @@
             if saved.snapshot is not None:
                 machine.restore(now, saved.snapshot.body)
         self.commit = self.applied = self._log.base
-        self._member = self._knows(me)  # or was one
+        self._member = False  # a committed configuration has had this one
+        self._note_member()
         # Stable: what the store has said is stored, so far as it is still so in the log here.
         self._safe_index, self._safe_term, self._safe_vote = self._log.last, self.term, self.vote
         self._seq = self._stored = 0
@@ -758,7 +759,6 @@
         return True
 
     def _config_fits(self, before: Config) -> bool:
-        self._member = self._member or self._knows(self.me)
         moved = set(before.voters) ^ set(self.config.voters)
         return self._rule(Rule.CONFIG_ONE, len(moved) <= 1, lambda: f"{before} to {self.config}")
 
@@ -825,7 +825,7 @@
         self._snapshot = snapshot
         self._records.append(snapshot)
         self.commit = self.applied = snapshot.index
-        self._member = self._member or self._knows(self.me)
+        self._note_member()
         self._say("info", "snapshot-taken", index=snapshot.index, bytes=len(snapshot.body))
 
     # Committing and applying ------------------------------------------------------------------------------------------
@@ -859,6 +859,7 @@
             token = self._pending.pop(entry.index, None)
             if token is not None:
                 self._out.append(Done(token, result))
+        self._note_member()
         if self.role is Role.LEADER:
             if not self.leading and self.commit >= self._lead_index:
                 self.leading, self.lead_since = True, now
@@ -868,6 +869,10 @@
         if self.applied - (self._snapshot.index if self._snapshot else 0) >= self._timings.snapshot_entries:
             self._compact()
 
+    def _note_member(self) -> None:
+        config = None if self._member else self._log.config_at(self.commit)
+        self._member = self._member or (config is not None and self.me in config.voters + config.learners)
+
     def _let_go(self, now: float) -> None:
         """A configuration is committed: who is not in it hears of that once, and a leader that is not steps down."""
         for who in [who for who in self._peers if not self._knows(who)]:
--- a/tests/test_fleet_replica.py
+++ b/tests/test_fleet_replica.py
@@ -324,8 +324,8 @@
             change = replace(self.replacing[0], token=self.token())
             config, act = leader.replica.config, change.act
             if ((act == "learn" and change.who in config.learners) or (act == "promote" and change.who in config.voters)
-                    or (act == "remove" and change.who not in config.voters)) and leader.replica.commit >= max(
-                        index for index, _ in [(0, b""), *world.history.items()]):
+                    or (act == "remove" and change.who not in config.voters)) and (
+                        leader.replica.commit >= leader.replica.config_index):
                 self.replacing.pop(0)
             else:
                 world.call("change", change, leader)
