Let no wave take a gateway whose own copies are not whole

A gateway that had just come back after a crash was taken into the next wave while its copies were behind, as its own were left out of the count.

--- a/fleet/connections.py
+++ b/fleet/connections.py
@@ -238,14 +238,15 @@
         even = int(given.fair + EDGE)
         first = any(one.part + EDGE < min(one.wish, even) for other, one in parts.held.items() if other != who)
         aim = min(even if first else math.ceil(given.fair - EDGE), ask.wish)
-        if held.part < aim and limit - parts.granted() >= 1.0 - EDGE:
+        granted = parts.granted()
+        if held.part < aim and limit - granted >= 1.0 - EDGE:
             held.part += 1.0
-        if limit - parts.granted() >= 1.0 - EDGE and not first:
+            granted += 1.0
+        if limit - granted >= 1.0 - EDGE and not first:
             aim = max(aim, int(held.part))  # nobody is short: what lies idle may stay open
         self._rules.check(Rule.LEASE_ONCE, held.number > self._last,
                           lambda: f"{ask.server}: lease {held.number} was given before, the last was {self._last}")
         self._last = held.number
-        granted = parts.granted()
         self._rules.check(Rule.CONNECTIONS_FIT, granted <= max(limit, before) + EDGE,
                           lambda: f"{ask.server}: {granted:g} of {limit:g} granted, {before:g} before")
         return [ask.server, held.number, int(held.part), aim, max(int(limit - granted), 0)]
--- a/fleet/rollout.py
+++ b/fleet/rollout.py
@@ -154,7 +154,7 @@
 class Facts(msgspec.Struct, frozen=True, array_like=True):
     """On what a leader decided that gateways may go: counted by `count`, beside the choice of them."""
 
-    missing: int  # copies outside of the wave that are dead or behind
+    missing: int  # copies that are dead or behind, but for those of gateways that a wave has taken away
     spare: int  # voters beyond the majority in the group that has fewest, without the wave; 1 at the most
     halls: int  # halls that would be left without a gateway
     have: float  # units a second that what stays carries; below 0: not known
@@ -519,14 +519,15 @@
         `view.load`: "capacity", units a second that all live gateways carry; "demand", what is asked for outside of
         contracts; "promised", the contracts' rates up to `horizon_ms` ahead.  Without a capacity room is not judged.
         """
-        away = {name for name, one in roll.gateways.items() if one.stand in AWAY} | set(wave)
+        gone = {name for name, one in roll.gateways.items() if one.stand in AWAY}
+        away = gone | set(wave)
         alive = {name_of(who) for who in view.alive}
         missing, spare = 0, 1
         for voters in view.groups.values():
             names = [name_of(who) for who in voters]
-            missing += sum(name not in away and name not in alive for name in names)
+            missing += sum(name not in gone and name not in alive for name in names)
             spare = min(spare, sum(name in alive and name not in away for name in names) - (len(names) // 2 + 1))
-        missing += sum(name_of(who) not in away for found in view.behind.values() for who in found)
+        missing += sum(name_of(who) not in gone for found in view.behind.values() for who in found)
         halls = {view.halls[name] for name in alive if name in view.halls}
         left = {view.halls[name] for name in alive - away if name in view.halls}
         short = 0 if roll.ask.hall_may_go and left else len(halls - left)
--- a/tests/test_fleet_drains.py
+++ b/tests/test_fleet_drains.py
@@ -1,4 +1,4 @@
-"""Leases on connections and rolling drains, with what may go wrong drawn at random and a referee that knows the truth."""
+"""Leases on connections and rolling drains, what may go wrong drawn at random, and a referee that knows the truth."""
 
 from __future__ import annotations
 
@@ -7,13 +7,14 @@
 from random import Random
 from typing import Any
 
+import msgspec
 import pytest
 from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
 
 from fleet import connections, rollout
-from fleet.connections import Ask, ConnEnd, ConnLeases, Connections, Keeper, Limit, Unlimit, bucket, process
+from fleet.connections import Ask, Connections, ConnEnd, ConnLeases, Keeper, Limit, Unlimit, bucket, process
 from fleet.errors import BadCall, UnknownOutcome, WrongState
 from fleet.invariants import Broken, Invariants, Rule
 from fleet.messages import name_of
@@ -24,8 +25,8 @@
 STEP = 100.0
 DRIFT = 0.05
 TIMINGS = Timings(clock_drift=DRIFT)
-IDLE = 3000.0
-KERNEL_MS = 300.0  # until a server knows that a process is dead
+IDLE = 12_000.0  # longer than a lease goes on after its last renewal, or no lost machine would matter
+KERNEL_MS = 900.0  # until a server knows that a process is dead
 
 
 def view(now: float, since: float, **more: Any) -> View:
@@ -85,8 +86,8 @@
     def start(self, name: str, boot: str) -> Gate:
         self.begun += 1
         rate = self.draw.choice((1.0 - DRIFT, 1.0, 1.0 + DRIFT))
-        return Gate(Keeper(process(f"{name}/1", boot, str(self.begun)), TIMINGS, self.rules, self.true * rate, alone=True),
-                    rate)
+        me = process(f"{name}/1", boot, str(self.begun))
+        return Gate(Keeper(me, TIMINGS, self.rules, self.true * rate, alone=True), rate)
 
     def kill(self, n: int, machine: bool) -> None:
         """The process dies; with its machine its kernel tells no server."""
@@ -176,9 +177,9 @@
         """Anything that may happen."""
         draw, n = self.draw, self.draw.randrange(3)
         gate = self.gates[n]
-        what = draw.randrange(12)
+        what = draw.randrange(13)
         if what < 5:
-            gate.need[draw.choice(list(self.limits))] = draw.choice((0, 1, 3, 8))
+            gate.need[draw.choice(list(self.limits))] = draw.choice((0, 3, 8, 8))
         elif what < 7:
             gate.frozen = not gate.frozen
         elif what == 7:
@@ -189,8 +190,13 @@
             self.lead()
         elif what == 10:
             self.limit(draw.choice(list(self.limits)), draw.choice((2, 4, 6)))
-        else:
+        elif what == 11:
             gate.keeper.leaving = not gate.keeper.leaving
+        elif not gate.frozen:  # cut off, and lost with its machine about when its lease ends
+            gate.cut = True
+            for _ in range(draw.randrange(80, 110)):
+                self.tick()
+            self.kill(n, True)
         for _ in range(draw.choice((1, 5, 20, 80))):
             self.tick()
 
@@ -228,7 +234,7 @@
         for gate in world.gates:
             gate.frozen = gate.cut = False
             gate.need, gate.keeper.leaving = dict.fromkeys(LIMITS, 0), True
-        for _ in range(400):
+        for _ in range(500):
             world.tick()
         assert [one.parts.granted() for one in world.state.servers.values()] == [0.0, 0.0]
         for gate in world.gates:
@@ -247,3 +253,448 @@
 
 def test_connections_stay_within_limits_whatever_is_lost() -> None:
     machine(ConnectionsMachine, 12, 12)
+
+
+def walk(seed: int) -> None:
+    world = Connected(Random(seed), LIMITS)
+    for _ in range(30):
+        world.act()
+
+
+def found(run: Callable[[int], object], seeds: int) -> Rule | None:
+    """The first rule that breaks within so many seeds."""
+    for seed in range(seeds):
+        try:
+            run(seed)
+        except Broken as broken:
+            return broken.rule
+    return None
+
+
+def closed_too_soon(patch: pytest.MonkeyPatch) -> None:
+    def closing(self: Keeper, server: str) -> None:
+        self.pools[server].open -= 1
+
+    def closed(self: Keeper, server: str, begun: bool = False) -> None:
+        self.pools[server].open -= not begun
+
+    patch.setattr(Keeper, "closing", closing)
+    patch.setattr(Keeper, "closed", closed)
+
+
+def counted_from_the_answer(patch: pytest.MonkeyPatch) -> None:
+    answered = Keeper.answered
+
+    def late(self: Keeper, now: float, command: Command, result: Any) -> None:
+        if (out := self._out.get(command.key())) is not None:
+            out.asked = now
+        answered(self, now, command, result)
+
+    patch.setattr(Keeper, "answered", late)
+
+
+def without_idle(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Connections, "patience", lambda self, idle: self.lease_ms() * (1 + DRIFT) / (1 - DRIFT) + 300.0)
+
+
+def without_margin(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Connections, "patience", lambda self, idle: self.lease_ms() + idle)
+
+
+def opened_before_told(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Keeper, "may_open", lambda self, now, server: self.pools[server].open < self.pools[server].part)
+
+
+@pytest.mark.parametrize(("plant", "named"), [
+    (closed_too_soon, Rule.CONNECTIONS_FIT), (counted_from_the_answer, Rule.CONNECTIONS_FIT),
+    (without_idle, Rule.CONNECTIONS_FIT), (without_margin, Rule.CONNECTIONS_FIT),
+    (opened_before_told, Rule.OPEN_UNDER_LEASE)])
+def test_planted_faults_of_connections_are_found(
+        plant: Callable[[pytest.MonkeyPatch], None], named: Rule, monkeypatch: pytest.MonkeyPatch) -> None:
+    plant(monkeypatch)
+    assert found(walk, 40) is named
+
+
+def test_who_may_vouch_and_what_is_refused() -> None:
+    state = Connections(Invariants(), TIMINGS)
+    where = bucket("a")
+    assert isinstance(state.apply(0, Limit(id="1", server="a", most=0, idle_ms=1.0)).error, BadCall)
+    assert state.apply(0, Limit(id="2", server="a", most=5, idle_ms=1.0)).error is None
+    old, new, other = process("g1/1", "b", "1"), process("g1/2", "b", "2"), process("g1/1", "c", "3")
+
+    def ask(who: str, number: int, keep: int, wish: int) -> Any:
+        return state.apply(0, ConnLeases(id="3", holder=who, bucket=where, asks=(Ask("a", number, keep, wish),),
+                                         fresh=True)).value
+
+    assert ask(old, 0, 0, 4) == {"parts": [["a", 1, 4, 4, 1]], "old": []}
+    assert ask(new, 0, 0, 5) == {"parts": [["a", 2, 1, 3, 0]], "old": [[old, "a", 1]]}
+    assert ask(old, 9, 0, 4)["parts"] == [["a", connections.OVER, 0, 0, 0]]
+    for by in (old, other, "g1/1#.4"):
+        told = state.apply(0, ConnEnd(id="4", holder=old, bucket=where, ends=(("a", 1),), proof="reset", by=by))
+        assert isinstance(told.error, BadCall)
+    ended = ConnEnd(id="5", holder=old, bucket=where, ends=(("a", 1),), proof="reset", by=new)
+    assert [state.apply(0, ended).value for _ in range(2)] == [{"ended": 1}, {"ended": 0}]
+    # A lower limit takes nothing away, and nobody gets more until enough has come back.
+    assert ask(new, 2, 1, 5)["parts"] == [["a", 3, 5, 5, 0]]
+    assert state.apply(0, Limit(id="6", server="a", most=2, idle_ms=1.0)).value == {"granted": 5}
+    assert ask(other, 0, 0, 5)["parts"] == [["a", 4, 0, 1, 0]]
+    assert ask(new, 3, 5, 5)["parts"] == [["a", 5, 5, 1, 0]]
+    assert ask(new, 5, 1, 1)["parts"][0][1:3] == [6, 1] and ask(other, 4, 0, 5)["parts"][0][2] == 1
+    state.apply(0, Unlimit(id="7", server="a"))
+    assert ask(new, 6, 0, 0) and ask(other, 7, 0, 0) and not state.servers
+
+
+def test_renewals_go_in_batches() -> None:
+    """At 200 gateways that all use 120 servers, twenty times what is counted here."""
+    state = Connections(Invariants(), TIMINGS)
+    servers = [f"10.0.0.{n}:7000" for n in range(120)]
+    for server in servers:
+        state.apply(0, Limit(id="x", server=server, most=40, idle_ms=IDLE))
+    keepers = [Keeper(process(f"g{n}/1", "b", "1"), TIMINGS, Invariants(), 0.0) for n in range(10)]
+    calls = 0
+    for now in range(0, 20_000, 500):
+        for keeper in keepers:
+            for server in servers:
+                keeper.want(server, 1)
+            for command in keeper.poll(now, now):
+                calls += now > 0
+                keeper.answered(now, command, state.apply(now, command))
+    assert 0 < calls / 19.5 <= 16 * 10 * 3 / 10
+
+
+# Rolls ----------------------------------------------------------------------------------------------------------------
+
+NAMES = [f"g{n}" for n in range(5)]
+HALLS = {name: "north" if n < 3 else "south" for n, name in enumerate(NAMES)}
+GROUPS = {f"G{n}": tuple(f"{NAMES[(n + k) % 5]}/1" for k in range(3)) for n in range(5)}
+BACK_MS, CATCH_UP_MS, EMPTY_MS = 700.0, 500.0, 800.0
+
+
+@dataclass
+class Pooler:
+    """A gateway as the roll sees it."""
+
+    side: Rolled
+    up: bool = True
+    cut: bool = False
+    frozen: bool = False
+    drained: bool = False
+    since: float = 0.0  # of its start, or of its last drain
+    begun: float = 0.0
+    back: float = -1.0  # when its supervisor starts it again
+    stuck: bool = False  # does not become empty
+
+
+class Rolling:
+    """Gateways, and whoever leads; some of what leaders propose comes late, or twice."""
+
+    def __init__(self, draw: Random, loss: float = 0.1) -> None:
+        self.draw, self.loss, self.rules, self.now, self.starts = draw, loss, Invariants(), 0.0, 0
+        self.state = Rolls(self.rules)
+        self.leader, self.leaderless = 0, 0.0
+        self.gates = {name: Pooler(self.process(name)) for name in NAMES}
+        self.late: list[tuple[float, Command]] = []
+        self.drains: dict[tuple[str, str], int] = {}
+        self.load = {"capacity": 500.0, "demand": 300.0, "promised": 0.0}
+        self.hook: Callable[[], None] = lambda: None
+
+    def process(self, name: str) -> Rolled:
+        self.starts += 1
+        return Rolled(name, process(f"{name}/1", "b", str(self.starts)))
+
+    def caught_up(self, name: str) -> bool:
+        gate = self.gates[name]
+        return gate.up and self.now - gate.begun >= (CATCH_UP_MS if gate.begun else 0.0)
+
+    def view(self) -> View:
+        alive = frozenset(f"{name}/1" for name, one in self.gates.items() if one.up and not one.cut and not one.frozen)
+        dead = {f"{name}/1": 9999.0 for name in NAMES if f"{name}/1" not in alive}
+        behind = {group: tuple(who for who in voters if who in alive and not self.caught_up(name_of(who)))
+                  for group, voters in GROUPS.items()}
+        return view(self.now, 0.0, me=f"{NAMES[self.leader]}/1", alive=alive, dead_for=dead, halls=HALLS,
+                    load=self.load, groups=GROUPS, behind=behind)
+
+    def take(self, command: Command) -> Applied:
+        waits = {(roll.name, name) for roll in self.state.rolls.values() for name, one in roll.gateways.items()
+                 if one.stand is Stand.WAITING}
+        answer = self.state.apply(self.now, command)
+        begun = [key for key in sorted(waits) if self.state.rolls[key[0]].gateways[key[1]].stand is Stand.GRANTING]
+        if begun:
+            short = [name for name in NAMES if not self.caught_up(name)]
+            if short:
+                raise Broken(Rule.COPIES_WHOLE, f"{begun} while {short} are not whole")
+            stays = len(NAMES) - len(begun)
+            if self.load["capacity"] * stays / len(NAMES) < self.load["demand"] + self.load["promised"]:
+                raise Broken(Rule.WAVE_KEEPS_ROOM, f"{begun} with {self.load}")
+        return answer
+
+    def lead(self) -> None:
+        """The leader dies; another goes on with what is in the log."""
+        raw = self.state.dump()
+        self.state = Rolls(self.rules)
+        self.state.load(raw)
+        assert self.state.dump() == raw
+        self.leader, self.leaderless = (self.leader + 1) % 5, self.now + 500.0
+
+    def tick(self) -> None:
+        self.now += STEP
+        self.hook()
+        if self.now >= self.leaderless:
+            for command in self.state.work(self.view()):
+                what = self.draw.random()
+                if what >= self.loss:
+                    self.take(command)
+                if what < 2 * self.loss:
+                    self.late.append((self.now + self.draw.choice((100, 1000, 5000)), command))
+        for one in [one for one in self.late if one[0] <= self.now]:
+            self.late.remove(one)
+            command = one[1]
+            if not isinstance(command, rollout.RollWave) or command.stamp != self.state.rolls[command.roll].changes:
+                self.take(command)  # the facts of a wave that is on time are the leader's, and were checked then
+        for name, gate in self.gates.items():
+            self.turn(name, gate)
+
+    def turn(self, name: str, gate: Pooler) -> None:
+        if not gate.up:
+            if 0 <= gate.back <= self.now:
+                self.gates[name] = Pooler(self.process(name), cut=gate.cut, begun=self.now, since=self.now)
+            return
+        if gate.frozen:
+            return
+        empty = self.now - gate.since >= EMPTY_MS and not gate.stuck
+        gate.side.tell(leads=0, trimmed=True, drained=gate.drained, empty=empty, whole=self.caught_up(name))
+        for command in gate.side.poll(self.now, self.now):
+            if self.draw.random() < self.loss or gate.cut:
+                gate.side.answered(self.now, command, UnknownOutcome("x", "no answer"))
+                continue
+            answer = self.take(command)
+            lost = self.draw.random() < self.loss
+            gate.side.answered(self.now, command, UnknownOutcome("x", "no answer") if lost else answer)
+        for duty in gate.side.duties(self.now):
+            if duty is Duty.PAUSE:
+                key = gate.side.record["roll"], name
+                self.drains[key] = self.drains.get(key, 0) + 1
+                if self.drains[key] > 1:
+                    raise Broken(Rule.ROLL_FORWARD, f"{key} drained twice")
+                gate.drained, gate.since = True, self.now
+            elif duty is Duty.RESUME:
+                gate.drained = False
+            else:
+                self.kill(name, BACK_MS)
+
+    def kill(self, name: str, back: float) -> None:
+        gate = self.gates[name]
+        gate.up, gate.back = False, self.now + back if back >= 0 else -1.0
+
+    def heal(self) -> None:
+        self.loss = 0.0
+        self.load.update(demand=300.0, promised=0.0)
+        for gate in self.gates.values():
+            gate.cut = gate.frozen = gate.stuck = False
+            if not gate.up and gate.back < 0:
+                gate.back = self.now
+
+    def settle(self) -> Roll | None:
+        """Run on until no roll is under way; nobody may be left drained."""
+        for _ in range(1200):
+            if (roll := self.state.active) is None:
+                break
+            if any(one.stand is Stand.HELD and self.now - one.since >= 1500.0 for one in roll.gateways.values()):
+                self.state.apply(self.now, RollResume(id="r", roll=roll.name))
+            self.tick()
+        assert self.state.active is None, self.state.told()
+        for _ in range(60):
+            self.tick()
+        assert not any(gate.drained or gate.side.paused or not gate.up for gate in self.gates.values())
+        assert not self.rules.broken
+        return next(reversed(self.state.rolls.values()), None)
+
+    def ask(self, **more: Any) -> Applied:
+        asked: dict[str, Any] = {"deadline_ms": 4000.0, "warm_ms": 500.0, **more}
+        return self.state.apply(self.now, RollAsk(id="a", roll=f"roll-{len(self.drains)}-{self.now:g}", **asked))
+
+    def act(self) -> None:
+        """Anything that may happen."""
+        draw = self.draw
+        name = draw.choice(NAMES)
+        gate = self.gates[name]
+        what = draw.randrange(9)
+        if what < 2:
+            self.ask(at_once=draw.randrange(1, 4), act=draw.choice(("restart", "restart", "hold")),
+                     hall=draw.choice(("", "", "north")))
+        elif what == 2 and (roll := self.state.active) is not None:
+            self.state.apply(self.now, RollCancel(id="c", roll=roll.name))
+        elif what == 3 and gate.up:
+            self.kill(name, draw.choice((-1.0, 300.0, 3000.0)))
+        elif what == 4:
+            gate.cut = not gate.cut
+        elif what == 5:
+            gate.frozen = not gate.frozen
+        elif what == 6:
+            self.lead()
+        elif what == 7:
+            self.load["promised"] = draw.choice((0.0, 150.0))
+        else:
+            gate.stuck = not gate.stuck
+        for _ in range(draw.choice((1, 3, 10, 40))):
+            self.tick()
+
+
+class RollsMachine(RuleBasedStateMachine):
+    """Hypothesis chooses and shrinks; all else is the world above."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.world = Rolling(Random(3))
+        self.world.ask(at_once=2)
+
+    @rule(seed=st.integers(0, 999))
+    def act(self, seed: int) -> None:
+        self.world.draw = Random(seed)
+        self.world.act()
+
+    @rule(ticks=st.integers(1, 60))
+    def wait(self, ticks: int) -> None:
+        for _ in range(ticks):
+            self.world.tick()
+
+    def teardown(self) -> None:
+        self.world.heal()
+        self.world.settle()
+
+
+def test_rolls_go_forward_and_leave_nothing_half_drained() -> None:
+    machine(RollsMachine, 25, 15)
+
+
+def roll_walk(seed: int) -> None:
+    world = Rolling(Random(seed))
+    world.ask(at_once=2)
+    for _ in range(25):
+        world.act()
+    world.heal()
+    world.settle()
+
+
+def without_copies(patch: pytest.MonkeyPatch) -> None:
+    count = Rolls.count
+
+    def blind(self: Rolls, *given: Any) -> Facts:
+        return msgspec.structs.replace(count(self, *given), missing=0)
+
+    patch.setattr(Rolls, "count", blind)
+
+
+def without_compare(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Rolls, "_current", lambda self, one, round_: True)
+    table = dict(rollout.STEPS)
+    for (_, step), after in rollout.STEPS.items():
+        if step is not rollout.Step.CANCEL:
+            table.update({(stand, step): after for stand in Stand if (stand, step) not in rollout.STEPS})
+    patch.setattr(rollout, "STEPS", table)
+
+
+def without_majority(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Facts, "fault", lambda self: (Rule.COPIES_WHOLE, "x") if self.missing else None)
+    patch.setattr(Rolls, "_allowed", lambda self, roll, facts: "" if self._rules.check(
+        Rule.WAVE_KEEPS_QUORUM, facts is None or facts.spare >= 0, lambda: str(facts)) else "no")
+
+
+def without_room(patch: pytest.MonkeyPatch) -> None:
+    fault = Facts.fault
+    patch.setattr(Facts, "fault", lambda self: fault(Facts(self.missing, self.spare, self.halls, -1.0, 0.0)))
+
+
+@pytest.mark.parametrize(("plant", "named"), [
+    (without_copies, Rule.COPIES_WHOLE), (without_compare, Rule.ROLL_FORWARD),
+    (without_majority, Rule.WAVE_KEEPS_QUORUM), (without_room, Rule.WAVE_KEEPS_ROOM)])
+def test_planted_faults_of_rolls_are_found(
+        plant: Callable[[pytest.MonkeyPatch], None], named: Rule, monkeypatch: pytest.MonkeyPatch) -> None:
+    plant(monkeypatch)
+    assert found(roll_walk, 40) is named
+
+
+STANDS = {"restart": (Stand.WAITING, Stand.GRANTING, Stand.PAUSING, Stand.EMPTYING, Stand.ACTING, Stand.RETURNING,
+                      Stand.WARMING, Stand.DONE),
+          "hold": (Stand.PAUSING, Stand.EMPTYING, Stand.HELD, Stand.RETURNING)}
+
+
+@pytest.mark.parametrize("event", ["cancel", "leader dies", "gateway dies", "gateway cut off", "cancel, leader dies"])
+@pytest.mark.parametrize(("act", "stand"), [(act, stand) for act, stands in STANDS.items() for stand in stands])
+def test_at_each_step(event: str, act: str, stand: Stand) -> None:
+    """Cancelled, or without its leader or the gateway, at each stand of one gateway."""
+    world = Rolling(Random(0), loss=0.0)
+    world.ask(act=act)
+    seen: list[float] = []
+
+    def hook() -> None:
+        roll = world.state.active
+        if roll is None or seen or roll.gateways.get("g1") is None or roll.gateways["g1"].stand is not stand:
+            if roll is not None and seen and world.now - seen[0] >= 3000.0:
+                world.gates["g1"].cut = False
+            return
+        seen.append(world.now)
+        if "cancel" in event:
+            world.state.apply(world.now, RollCancel(id="c", roll=roll.name))
+        if "leader" in event:
+            world.lead()
+        if event == "gateway dies" and world.gates["g1"].up:
+            world.kill("g1", 1000.0)
+        if event == "gateway cut off":
+            world.gates["g1"].cut = True
+
+    world.hook = hook
+    roll = world.settle()
+    assert seen and roll is not None
+    assert roll.state is (State.CANCELLED if "cancel" in event else State.DONE)
+    assert all(count == 1 for count in world.drains.values())
+    if "cancel" not in event:
+        assert {one.stand for one in roll.gateways.values()} == {Stand.DONE}
+
+
+def test_a_roll_says_why_it_waits_and_goes_on() -> None:
+    world = Rolling(Random(0), loss=0.0)
+    world.gates["g1"].stuck = True
+    world.ask()
+    assert isinstance(world.ask().error, WrongState)
+
+    def until(state: State, why: str) -> None:
+        for _ in range(400):
+            world.tick()
+            if (roll := world.state.active) is not None and roll.state is state and why in roll.why:
+                return
+        raise AssertionError(world.state.told())
+
+    until(State.PAUSED, "g1 is late emptying")
+    world.gates["g1"].stuck = False
+    until(State.RUNNING, "")
+    world.load["promised"] = 150.0
+    until(State.PAUSED, "no room")
+    world.load["promised"] = 0.0
+    until(State.RUNNING, "")
+    world.kill("g3", -1.0)
+    until(State.PAUSED, "copies not whole")
+    world.kill("g3", 0.0)
+    until(State.RUNNING, "")
+    world.gates["g0"].stuck = True
+    until(State.PAUSED, "g0 is late emptying")
+    assert world.state.active is not None
+    world.state.apply(world.now, RollResume(id="f", roll=world.state.active.name, force=True))
+    roll = world.settle()
+    assert roll is not None and roll.state is State.DONE
+    for hall in ("south", "nowhere"):
+        world.ask(hall=hall)
+        done = world.settle()
+        assert done is not None and done.state is (State.DONE if hall == "south" else State.FAILED)
+
+
+def test_a_roll_takes_little_longer_than_the_limits_allow() -> None:
+    world = Rolling(Random(0), loss=0.0)
+    world.ask(at_once=3, warm_ms=2000.0)
+    roll = world.settle()
+    assert roll is not None
+    named = {group: tuple(name_of(who) for who in voters) for group, voters in GROUPS.items()}
+    # Turning away at once, then empty, ended and back, caught up, warm.
+    least = least_ms(NAMES, named, HALLS, 3, 0.6, EMPTY_MS + BACK_MS + CATCH_UP_MS + 2000.0)
+    assert least == 5 * 4000.0
+    assert least <= roll.since <= 1.3 * least
