--- a/badgeryoke/fleet/store.py
+++ b/badgeryoke/fleet/store.py
@@ -417,7 +417,8 @@
     """Writes off the event loop: what is asked for while a transaction is under way goes into the next one.
 
     `stored` is told on the loop, in the order asked; `broke` once, when nothing more is written.  The thread is a
-    daemon: a disk that hangs does not hold up the process's end.
+    daemon: a disk that hangs does not hold up the process's end.  The folder is held until `end`, also by a store that
+    broke.
     """
 
     def __init__(self, disk: Disk, call_soon_threadsafe: Callable[..., object],
@@ -462,7 +463,6 @@
                 self._post(self._written, batch, fault)
             if fault is not None:
                 break
-        self._disk.close()
 
     def _written(self, batch: list[Store], fault: Exception | None) -> None:
         self._busy = False
@@ -492,6 +492,8 @@
                 self._waiting.clear()
             self._batches.put(None)
         self._thread.join(wait_s)
+        if not self._thread.is_alive():  # else the folder stays locked until the process is gone
+            self._disk.close()
 
 
 def _weight(one: Store) -> int:
