Go by the fleet's middle clock, time moves by the leader's own, report voters that lag

Moves and refused newcomers are now timed by the leader's monotonic clock; probes carry the wall clock, and the fleet goes by the one in the middle; until a majority's are known the group's time stands still. Voters behind for a second are reported, so that copies do not count as whole.

--- a/fleet/groups.py
+++ b/fleet/groups.py
@@ -167,7 +167,10 @@
         self.groups: dict[str, Held] = {}
         self.moves: dict[str, Move] = {}  # by group
         self.begun = 0  # moves ever begun
-        self.slow: dict[Id, float] = {}  # who did not catch up in time, and when that was given up (Unix ms)
+        self.slow: dict[Id, int] = {}  # who did not catch up in time, and in which move
+        # When this machine's own clock saw them first, never dumped: a stepped wall clock must not time them.
+        self._since: dict[tuple[str, Id], float] = {}  # a group's move, by its newcomer
+        self._slow_since: dict[tuple[Id, int], float] = {}
 
     def begin(self, record: Record) -> None:
         """As founded: the same at every copy, before any entry is applied.  Changes nothing where there is state."""
@@ -198,7 +201,7 @@
             return Applied(error=WrongState(command.group, "no such move is under way"))
         del self.moves[command.group]
         if command.new:
-            self.slow[command.new] = at_ms
+            self.slow[command.new] = self.begun
         return Applied("forgone")
 
     def _enrol(self, command: Enrol) -> Applied:
@@ -250,7 +253,10 @@
                         "state": self.dump()})
 
     def seen(self, now: float) -> None:
-        """Nothing here ends by time."""
+        """Note when moves, and newcomers that were given up, were first seen."""
+        self._since = {key: self._since.get(key, now)
+                       for key in ((group, move.new) for group, move in self.moves.items())}
+        self._slow_since = {key: self._slow_since.get(key, now) for key in self.slow.items()}
 
     def dump(self) -> Any:
         """Plain data."""
@@ -261,7 +267,8 @@
         """In place of all there is."""
         (self.copies, self.members, self.past, self.groups, self.moves, self.begun, self.slow) = msgspec.convert(
             raw, tuple[int, dict[str, tuple[Id, str]], dict[str, list[Id]], dict[str, Held], dict[str, Move], int,
-                       dict[Id, float]])
+                       dict[Id, int]])
+        self._since, self._slow_since = {}, {}
 
     # What it says ----------------------------------------------------------------------------------------------------
 
@@ -374,7 +381,7 @@
             held = self.groups[group]
             if move.new and move.new not in held.voters and self._lost(view, move.new):
                 why = "the newcomer is lost"
-            elif move.new and move.new not in held.voters and view.wall - move.since > LONGEST_MOVE_MS:
+            elif move.new and move.new not in held.voters and self._long(view, self._since.get((group, move.new))):
                 why = "the newcomer does not catch up"
             elif not self._acts(view, held) and sum(self._lost(view, who) for who in held.voters) > len(
                     held.voters) - Config(held.voters).majority():
@@ -384,6 +391,11 @@
             found.append(Forgo(id=f"forgo:{group}:{move.new}:{self.begun}", group=group, new=move.new, why=why))
         return found
 
+    @staticmethod
+    def _long(view: View, since: float | None) -> bool:
+        """Whether so much time has gone by since, of which this leader saw all."""
+        return since is not None and view.now - max(since, view.lead_since) > LONGEST_MOVE_MS
+
     def _loads(self) -> Counter[Id]:
         load = Counter(who for held in self.groups.values() for who in held.voters)
         for group, move in self.moves.items():
@@ -394,7 +406,7 @@
     def _candidates(self, view: View, held: Held) -> list[tuple[Id, str]]:
         return [(who, hall) for who, hall in self.members.values()
                 if who in view.alive and who not in held.voters
-                and view.wall - self.slow.get(who, -math.inf) > LONGEST_MOVE_MS]
+                and (who not in self.slow or self._long(view, self._slow_since.get((who, self.slow[who]))))]
 
     def _repairs(self, view: View, room: int) -> list[Command]:
         """Copies to make again, the group with the fewest living first, then the fleet's own."""
--- a/fleet/messages.py
+++ b/fleet/messages.py
@@ -127,11 +127,13 @@
 
 
 class Ping(Message, frozen=True):
-    """SWIM's probe.  `target`: who is meant (a restarted process answers for nobody else)."""
+    """SWIM's probe.  `target`: who is meant (a restarted process answers for nobody else).  `wall`: the sender's clock,
+    Unix ms, 0 where it does not say."""
 
     seq: int
     target: Id
     gossip: tuple[Rumour, ...]
+    wall: float = 0.0
 
 
 class Ack(Message, frozen=True):
@@ -140,6 +142,7 @@
     seq: int
     target: Id
     gossip: tuple[Rumour, ...]
+    wall: float = 0.0
 
 
 class PingFor(Message, frozen=True):
--- a/fleet/node.py
+++ b/fleet/node.py
@@ -50,6 +50,7 @@
     PingFor,
     Reply,
     WhoAreYou,
+    name_of,
 )
 from fleet.part import FLEET, Applied, Command, View
 from fleet.replica import Replica
@@ -61,6 +62,7 @@
 MOST_HOPS = 3  # of a call on its way to a leader
 TRY_PART = 0.25  # of `call_ms`, after which a call without an answer is made again: its id makes that harmless
 PAUSE_MS = 40.0  # before a call that found no leader is made again
+LATE_MS = 1000.0  # a voter that has not caught up for so long is reported as behind
 PLACES_MS = 400.0  # a member that leads a group reads so often who is to copy it
 ANY = "*"  # in Setup.servers: each server that is not named
 POLL_MS = 20.0  # the holders' calls are looked for so often
@@ -111,11 +113,16 @@
         self._ours: dict[str, Callable[[float, Any], list[Effect]]] = {}  # proposals of replicas here, by token
         self._routes: dict[str, Id] = {}  # who led a group, as last heard
         self._placed: dict[str, tuple[Id, ...]] = {}  # who copies a group, as last heard
+        self._first: dict[str, tuple[Id, ...]] = {}  # as founded
         self._working: dict[str, None] = {}  # commands that a leader here has under way
         self._changing: dict[str, None] = {}  # groups with a change of members under way here
         self._places = Placing(setup.timings, rules)  # who is to copy what, as last read
         self._reading = False
         self._places_at = now
+        self._lags: dict[tuple[str, Id], float] = {}  # voters of groups led here that have not caught up, since when
+        self._ahead: dict[str, float] = {}  # others' wall clocks less this one's
+        self.ahead = 0.0  # the fleet's time less this machine's, ms
+        self._timed = len(self._halls) <= 1  # whether a majority's clocks were heard
         self.limits = {name: most for name, most in setup.servers.items() if name != ANY}
         self._last = 0
         self._begun = f"{draw.getrandbits(48):012x}"  # tokens of an earlier life are not answered as this one's
@@ -131,7 +138,7 @@
         """The fleet is founded: bring up what this member copies."""
         record = self.founding.record
         assert record is not None
-        self._placed = first_placing(record)
+        self._placed = self._first = first_placing(record)
         self.membership.know(now, (who for who, _ in record.members))
         for group, ids in self._placed.items():
             if group in self._saved or self.me in ids:
@@ -148,7 +155,8 @@
                 assert self.founding.record is not None
                 state.parts["placing"].begin(self.founding.record)
             saved = self._saved.pop(group, Saved())
-            first = Config(self._placed[group]) if self.me in self._placed[group] else None
+            # Only a founder's first placing, only before anything was stored: as whoever came in later it waits to be told.
+            first = Config(self._first[group]) if self.me in self._first.get(group, ()) else None
             found = self.replicas[group] = Replica(
                 group, self.me, saved, state, self._timings, self._draw, self.rules, now, first)
         return found
@@ -175,6 +183,7 @@
     def handle(self, now: float, wall: float, event: NodeEvent) -> list[Effect]:
         """Take an event in; gives what has to be done, in order."""
         effects: list[Effect] = []
+        raw, wall = wall, wall + self.ahead
         match event:
             case Received(message=GroupMessage() as message):
                 if self.founding.record is not None and self._replica(now, message.group) is not None:
@@ -183,8 +192,10 @@
                 effects += self._forwarded(now, wall, sender, message)
             case Received(sender=sender, message=Reply() as message):
                 effects += self._replied(now, wall, sender, message)
-            case Received(message=Ping() | Ack() | PingFor() | Nack()):
-                effects += self.membership.handle(now, event)
+            case Received(sender=sender, message=Ping() | Ack() | PingFor() | Nack() as message):
+                if isinstance(message, Ping | Ack) and message.wall > 0.0:
+                    self._clocks(sender, message.wall - raw)
+                effects += self._gossip(raw, self.membership.handle(now, event))
             case Received(message=WhoAreYou() | IAm() | Found()):
                 effects += self._founded(now, event)
             case Stored(group=group):
@@ -202,15 +213,33 @@
                 effects += self._ask(now, wall, command, lambda at, result: [Done(token, result)])
             case Leave(token=token):
                 self._leaving = token, now + 2 * self._timings.election_ms
-                effects += self.membership.leave(now)
+                effects += self._gossip(raw, self.membership.leave(now))
                 for group, replica in self.replicas.items():
                     if replica.leading:
                         effects += self._feed(now, group, HandOver())
             case Tick():
                 pass
-        effects += self._tick(now, wall)
+        effects += self._tick(now, raw, raw + self.ahead)
         return effects
 
+    def _clocks(self, sender: Id, ahead: float) -> None:
+        """Another's wall clock is so far ahead of this one's: the fleet goes by the clock in the middle.
+
+        One that was set wrong, or a machine that started with it, must not carry the groups' time away.
+        """
+        if name_of(sender) in self._halls:
+            self._ahead[name_of(sender)] = ahead
+            middle = sorted([0.0, *self._ahead.values()])
+            self.ahead = (middle[(len(middle) - 1) // 2] + middle[len(middle) // 2]) / 2.0
+            self._timed = 2 * len(middle) > len(self._halls)
+
+    @staticmethod
+    def _gossip(raw: float, effects: Iterable[Send | Say]) -> list[Effect]:
+        """What membership sends, with this machine's clock in it."""
+        return [Send(effect.to, msgspec.structs.replace(effect.message, wall=raw))
+                if isinstance(effect, Send) and isinstance(effect.message, Ping | Ack) else effect
+                for effect in effects]
+
     def _founded(self, now: float, event: Tick | Received | Stored | StoreBroke) -> list[Effect]:
         known = self.founding.record
         effects: list[Effect] = list(self.founding.handle(now, event))
@@ -218,12 +247,12 @@
             self._open(now)
         return effects
 
-    def _tick(self, now: float, wall: float) -> list[Effect]:
+    def _tick(self, now: float, raw: float, wall: float) -> list[Effect]:
         effects: list[Effect] = []
         if self.founding.due <= now:
             effects += self._founded(now, Tick())
         if self.membership.due <= now:
-            effects += self.membership.handle(now, Tick())
+            effects += self._gossip(raw, self.membership.handle(now, Tick()))
         for group, replica in list(self.replicas.items()):
             if replica.due <= now:
                 effects += self._feed(now, group, Tick())
@@ -356,7 +385,10 @@
             return answer(at, self.states[group].look(command) if result is None else result)
 
         self._ours[token] = looked if command.reads else answer
-        return self._feed(now, group, Read(token) if command.reads else Propose(token, encode(wall, command)))
+        if command.reads:
+            return self._feed(now, group, Read(token))
+        # Until a majority's clocks were heard the group's time stands still: this machine's may be anywhere.
+        return self._feed(now, group, Propose(token, encode(wall if self._timed else 0.0, command)))
 
     def _forwarded(self, now: float, wall: float, sender: Id, message: Forward) -> list[Effect]:
         """A call of another member."""
@@ -466,6 +498,12 @@
 
         return self._ask(now, wall, Places(id=self._token()), read)
 
+    def _late(self, now: float, group: str, replica: Replica) -> tuple[Id, ...]:
+        """Voters that have long not caught up: not each lag is an entry in the fleet's log."""
+        lagging = replica.lagging()
+        self._lags = {key: since for key, since in self._lags.items() if key[0] != group or key[1] in lagging}
+        return tuple(who for who in lagging if now - self._lags.setdefault((group, who), now) >= LATE_MS)
+
     def _members(self, now: float, wall: float, group: str, replica: Replica) -> list[Effect]:
         """One step of a change of members, or the report of how they stand."""
         if replica.commit < replica.config_index:
@@ -473,7 +511,7 @@
         behind = replica.behind()
         step = self._places.wanted(group, replica.config, behind, self.membership.alive())
         if step is None:
-            report = self._places.report(group, replica.config, replica.config_index, behind)
+            report = self._places.report(group, replica.config, replica.config_index, self._late(now, group, replica))
             if report is None or report.id in self._working:
                 return []
             self._working[report.id] = None
--- a/fleet/replica.py
+++ b/fleet/replica.py
@@ -228,6 +228,11 @@
         """Learners that have not caught up, by the leader."""
         return tuple(who for who in self.config.learners if not self._caught_up(who)) if self.leading else ()
 
+    def lagging(self) -> tuple[Id, ...]:
+        """Voters that have not caught up, by the leader; each is that for a moment now and then."""
+        return tuple(who for who in self.config.voters
+                     if who != self.me and not self._caught_up(who)) if self.leading else ()
+
     def status(self, now: float) -> dict[str, Any]:
         """For operators."""
         return {"group": self.group, "role": self.role.name.lower(), "term": self.term, "leader": self.leader,
