--- a/fleet/node.py
+++ b/fleet/node.py
@@ -155,7 +155,7 @@
                 assert self.founding.record is not None
                 state.parts["placing"].begin(self.founding.record)
             saved = self._saved.pop(group, Saved())
-            # Only a founder's first placing, only before anything was stored: as whoever came in later it waits to be told.
+            # A founder's first placing alone, and before anything was stored: who comes in later waits to be told.
             first = Config(self._first[group]) if self.me in self._first.get(group, ()) else None
             found = self.replicas[group] = Replica(
                 group, self.me, saved, state, self._timings, self._draw, self.rules, now, first)
