--- a/lab/stage/run.py
+++ b/lab/stage/run.py
@@ -30,6 +30,7 @@
 
 FRONT_S = 1.5  # after which clients leave a dead gateway
 READY_S = 20.0
+MOST_EVENTS, MOST_SAID = 20_000, 400  # lines of gateways' logs kept with the events, and characters of one
 TEND_S = 0.1  # between two PINGs of the front
 HIGHEST_US = 60_000_000
 
@@ -283,6 +284,8 @@
         """A line of a gateway's log."""
         found = BELIEF.search(line)
         if found is None:
+            if " badgeryoke.fleet: " in line and len(self.events) < MOST_EVENTS:
+                self._event("said", gateway=me + 1, line=line[:MOST_SAID])
             return
         hidden = tuple(int(word) for word in (found.group(3) or "[]").strip("[]").split(",") if word.strip())
         shown = Shown(round(self.now, 1), me, found.group(1), found.group(2).strip(), hidden)
