Close idle links by one look a second instead of a timer for each wait

Each batch on a link set and cancelled two timers. A write that is taken at once needs none, and idleness is looked for once a second over all peers.

--- a/badgeryoke/fleet/links.py
+++ b/badgeryoke/fleet/links.py
@@ -64,6 +64,7 @@
     stall_s: float = 5.0  # a write that is not taken, or nothing heard since something was sent
     ask_s: float = 1.0  # between questions whether it still reads
     idle_s: float = 20.0  # without a message, then the connection is closed
+    sweep_s: float = 1.0  # between looks at who is idle
     again_least_s: float = 0.05  # pause before dialling again; doubles
     again_most_s: float = 2.0
     most_messages: int = 4096  # waiting for one peer
@@ -126,6 +127,8 @@
     ask_at: float = 0.0
     not_before: float = 0.0
     pause: float = 0.0
+    spoke: float = 0.0
+    idle: bool = False
     news: asyncio.Event = field(default_factory=asyncio.Event)
     task: asyncio.Task[None] | None = None
 
@@ -210,6 +213,7 @@
             one.setblocking(False)
             self._listening.append(one)
             loop.add_reader(one.fileno(), self._accept, one)
+        loop.call_later(self.bounds.sweep_s, self._sweep)
 
     def _accept(self, listening: socket.socket) -> None:
         try:
@@ -231,6 +235,16 @@
         self._inbound[stream] = ""
         self._run(self._heard(stream, str(address[0])))
 
+    def _sweep(self) -> None:
+        """Let go of connections over which nothing is said."""
+        loop = asyncio.get_running_loop()
+        for peer in self.peers.values():
+            if peer.up and not peer.count and loop.time() - peer.spoke > self.bounds.idle_s:
+                peer.idle = True
+                peer.news.set()
+        if not self._ended:
+            loop.call_later(self.bounds.sweep_s, self._sweep)
+
     def _listen_again(self, listening: socket.socket) -> None:
         if not self._ended:
             asyncio.get_running_loop().add_reader(listening.fileno(), self._accept, listening)
@@ -357,6 +371,7 @@
                 self._error(said)
                 return False
             peer.up, peer.incarnation, peer.asked, peer.ask_at = True, said.sender, None, 0.0
+            peer.spoke, peer.idle = asyncio.get_running_loop().time(), False
             listening = self._run(self._listen_to(peer, stream))
             return await self._pour(peer, stream)
         except (OSError, StreamClosedError, TimeoutError):
@@ -373,10 +388,9 @@
             to, bodies = peer.batch(bounds)
             if not bodies:
                 peer.news.clear()
-                try:
-                    await asyncio.wait_for(peer.news.wait(), bounds.idle_s)
-                except TimeoutError:
+                if peer.idle:
                     return True
+                await peer.news.wait()
                 await asyncio.sleep(0)  # what else this turn of the loop has to say
                 continue
             if to not in (peer.incarnation, peer.name, peer.name + "/"):
@@ -391,8 +405,10 @@
                 out += self._hello(peer.name)
             elif peer.asked is not None and loop.time() - peer.asked > bounds.stall_s:
                 return False
-            await asyncio.wait_for(stream.write(out), bounds.stall_s)
+            if not (written := stream.write(out)).done():
+                await asyncio.wait_for(written, bounds.stall_s)
             peer.sent += len(bodies)
+            peer.spoke = loop.time()
         return False
 
     async def _listen_to(self, peer: Peer, stream: IOStream) -> None:
--- a/tests/test_fleet_links.py
+++ b/tests/test_fleet_links.py
@@ -7,6 +7,7 @@
 import socket
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
+from dataclasses import replace
 from random import Random
 from typing import Any
 
@@ -249,6 +250,19 @@
     play(test)
 
 
+def test_a_link_over_which_nothing_is_said_is_closed_and_comes_back() -> None:
+    async def test() -> None:
+        bounds = replace(SOON, idle_s=0.02, sweep_s=0.01)
+        async with pair(bounds=bounds) as (here, there):
+            for n in range(1, 4):
+                here.links.send("b", PING)
+                await until(lambda: len(there.got) == n)  # noqa: B023 - awaited in its round
+                await until(lambda: not here.links.peers["b"].up and not there.links._inbound)
+            assert here.links.peers["b"].lost == 0 and not here.errors + there.errors
+
+    play(test)
+
+
 def test_nobody_is_there_then_somebody_is() -> None:
     async def test() -> None:
         with socket.create_server((HOST, 0)) as free:
