Find sixteen planted faults by name, and check commits and terms against the disks

The referee now compares each vote, acknowledgement, term and commit that goes over the network with what is durable on the disks, those of lost machines among them.

--- a/lab/fleet/disk.py
+++ b/lab/fleet/disk.py
@@ -7,13 +7,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from random import Random
 
+import msgspec
+
 from fleet.errors import StoreFailed
 from fleet.events import Entries, Forget, HardState, NodeEvent, Record, Saved, Snapshot, Store, StoreBroke, Stored
-from fleet.messages import Entry
+from fleet.messages import CONFIG, Config, Entry
 from lab.fleet.network import Calendar
 
 
@@ -25,6 +27,8 @@
     vote: str = ""
     snapshot: Snapshot | None = None
     entries: list[Entry] = field(default_factory=list)
+    config: Config | None = None  # the members that the log names last
+    config_at: int = 0
 
     @property
     def last(self) -> int:
@@ -52,9 +56,11 @@
             if record.entries:
                 first = record.entries[0].index
                 held = self.entries
-                if held and first <= held[-1].index:
+                cut = bool(held) and first <= held[-1].index
+                if cut:
                     del held[max(first - held[0].index, 0):]
                 held.extend(record.entries)
+                self._name(held if cut and self.config_at >= first else record.entries)
         elif isinstance(record, HardState):
             self.term, self.vote = record.term, record.vote
         elif isinstance(record, Snapshot):
@@ -64,6 +70,17 @@
                     or (before is not None and (before.index, before.term) == (record.index, record.term)))
             self.snapshot = record
             self.entries = [entry for entry in self.entries if entry.index > record.index] if keep else []
+            if not keep or self.config_at <= record.index:
+                self._name(self.entries)
+
+    def _name(self, entries: Sequence[Entry]) -> None:
+        """Look for the members that the log names last, among the entries that may do so."""
+        if (entries is self.entries or self.config is None) and self.snapshot is not None:
+            self.config, self.config_at = self.snapshot.config, self.snapshot.index
+        for entry in reversed(entries):
+            if entry.kind == CONFIG:
+                self.config, self.config_at = msgspec.msgpack.decode(entry.body, type=Config), entry.index
+                return
 
 
 class Disk:
@@ -74,6 +91,7 @@
         self.fsync_ms = (0.5, 3.0)
         self.full = False
         self.groups: dict[str, Kept] = {}
+        self.lost: dict[str, dict[str, Kept]] = {}  # what stood on it before it was wiped, by incarnation
         self.incarnation = self._drawn()
         self.syncs = 0
         self._life = 0  # of the process that writes
@@ -131,5 +149,6 @@
 
     def wipe(self) -> None:
         """The machine is lost with its disk, or the store reads as damaged: another store, another incarnation."""
+        self.lost[self.incarnation] = self.groups
         self.groups, self.full = {}, False
         self.incarnation = self._drawn()
--- a/lab/fleet/world.py
+++ b/lab/fleet/world.py
@@ -15,17 +15,15 @@
 from random import Random
 from typing import Any
 
-import msgspec
-
 from fleet.errors import FleetError
 from fleet.events import Call, Done, Effect, NodeEvent, Received, Saved, Say, Send, Store, Tick
 from fleet.invariants import Broken, Invariants
 from fleet.messages import (
-    CONFIG,
     AnyMessage,
     Append,
     Appended,
     Config,
+    GroupMessage,
     Piece,
     Vote,
     name_of,
@@ -243,6 +241,10 @@
 
     def _saw(self, machine: Machine, to: str, message: AnyMessage) -> None:
         kind = type(message)
+        if isinstance(message, GroupMessage):
+            kept = machine.disk.groups.get(message.group)
+            if kept is not None and message.term < kept.term:
+                self._found("term-forgotten", f"{machine.id}: {message}; on disk term {kept.term}")
         if kind is Append or kind is Piece:
             assert isinstance(message, Append | Piece)
             at = message.group, message.term
@@ -252,6 +254,7 @@
                 self._found("two-leaders", f"{at}: {leader} and {machine.id}")
             if isinstance(message, Append) and message.commit > self._commits.get(message.group, 0):
                 self._commits[message.group] = message.commit
+                self._check_commit(machine, message.group, message.commit)
         elif kind is Vote:
             assert isinstance(message, Vote)
             if message.granted and not message.pre:
@@ -270,6 +273,27 @@
                 if kept.last < message.index:
                     self._found("acknowledged-not-stored", f"{machine.id}: {message}; on disk up to {kept.last}")
 
+    def _check_commit(self, leader: Machine, group: str, index: int) -> None:
+        """What a leader tells as committed is on the disks of a majority, or was when they said so."""
+        mine = leader.disk.groups.get(group, Kept())
+        entry = mine.at(index)
+        configs: list[Config] = []
+        have: set[str] = set()
+        for machine in self.machines.values():
+            known = {**machine.disk.lost, machine.disk.incarnation: machine.disk.groups}
+            for incarnation, groups in known.items():
+                kept = groups.get(group)
+                if kept is None:
+                    continue
+                if kept.config is not None and kept.config not in configs:
+                    configs.append(kept.config)
+                here = kept.at(index)
+                if kept.last >= index and (entry is None or here is None or here.term == entry.term):
+                    have.add(f"{machine.name}/{incarnation}")
+        # Which members hold is the leader's to say; its own store may lag behind, then another's says it.
+        if not any(sum(who in have for who in config.voters) * 2 > len(config.voters) for config in configs):
+            self._found("committed-not-stored", f"{group} {index} by {leader.id}: on {sorted(have)} of {configs}")
+
     def groups(self) -> list[str]:
         """All that any disk knows, but the founding record's."""
         return sorted({group for machine in self.machines.values() for group in machine.disk.groups
@@ -283,9 +307,8 @@
             kept = machine.disk.groups.get(group)
             if kept is None or (kept.last_term, kept.last) <= best:
                 continue
-            config = config_of(kept)
-            if config is not None:
-                best, found = (kept.last_term, kept.last), config
+            if kept.config is not None:
+                best, found = (kept.last_term, kept.last), kept.config
         return found
 
     def whole(self) -> bool:
@@ -561,11 +584,3 @@
         rules = sum(finding.name.isupper() for finding in self.findings)
         return FleetFigures(verdict.acknowledged, verdict.lost, verdict.twice, self.most_leaders,
                             self.unavailable_ms, self.restored_ms, invariants_broken=rules)
-
-
-def config_of(kept: Kept) -> Config | None:
-    """The members that a log names last."""
-    for entry in reversed(kept.entries):
-        if entry.kind == CONFIG:
-            return msgspec.msgpack.decode(entry.body, type=Config)
-    return kept.snapshot.config if kept.snapshot else None
--- /dev/null
+++ b/tests/test_fleet_planted.py
@@ -0,0 +1,252 @@
+"""Faults planted into the real code, each found by name within a stated number of drawn runs: the checks can fail."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field, replace
+from random import Random
+from typing import Any
+
+import pytest
+
+from fleet.events import Done, Saved, Send, Stored
+from fleet.messages import Config, Vote
+from fleet.promises import Promise
+from fleet.replica import Replica, Role
+from lab.fleet.disk import Disk
+from lab.fleet.drawn import Played, play
+from lab.fleet.faults import Plan, draw
+from lab.text.scenario import Fault
+
+Patch = Callable[[pytest.MonkeyPatch], None]
+
+
+@dataclass(frozen=True)
+class Planted:
+    """`names`: what it may be found by.  `kinds`: of plans, `seeds`: so many of each at the most."""
+
+    patch: Patch
+    names: tuple[str, ...]
+    kinds: tuple[str, ...] = ("everything",)
+    seeds: int = 6
+    members: int = 0  # 0: drawn
+    changes: dict[str, Any] = field(default_factory=dict)  # of each plan
+
+
+def unstored_vote(patch: pytest.MonkeyPatch) -> None:
+    """A vote is told before it is stored, and the code's own check sleeps: the referee compares with the disk."""
+    whole = Replica._tell_stored
+
+    def told(self: Replica, to: str, message: Any) -> None:
+        if isinstance(message, Vote):
+            self._out.append(Send(to, message))
+        else:
+            whole(self, to, message)
+
+    patch.setattr(Replica, "_tell_stored", told)
+
+
+def unstored_entries(patch: pytest.MonkeyPatch) -> None:
+    """What is told when it is stored is told at once: the code's own check finds it."""
+    patch.setattr(Replica, "_tell_stored", Replica._tell)
+
+
+def older_terms(patch: pytest.MonkeyPatch) -> None:
+    """Copies of an older term's entry are counted."""
+    patch.setattr(Replica, "_may_count", lambda self, index: True)
+
+
+def votes_twice(patch: pytest.MonkeyPatch) -> None:
+    """A member votes for whoever asks."""
+    patch.setattr(Replica, "_may_vote", lambda self, who: True)
+
+
+def forgotten_vote(patch: pytest.MonkeyPatch) -> None:
+    """A start forgets for whom the member voted."""
+    whole = Disk.start
+
+    def start(self: Disk, life: int) -> dict[str, Saved]:
+        return {name: replace(saved, vote="") for name, saved in whole(self, life).items()}
+
+    patch.setattr(Disk, "start", start)
+
+
+def forgotten_term(patch: pytest.MonkeyPatch) -> None:
+    """A start forgets term and vote."""
+    whole = Disk.start
+
+    def start(self: Disk, life: int) -> dict[str, Saved]:
+        return {name: replace(saved, term=saved.entries[-1].term if saved.entries else 0, vote="")
+                for name, saved in whole(self, life).items()}
+
+    patch.setattr(Disk, "start", start)
+
+
+def lying_disk(patch: pytest.MonkeyPatch) -> None:
+    """A store says that it is done when it has begun."""
+    def sync(self: Disk) -> None:
+        self._under_way, self._asked = self._asked, []
+        for store in self._under_way:
+            self._calendar.at(self._calendar.now, self._tell, self._life, Stored(store.group, store.seq))
+        self._calendar.at(self._calendar.now + 30.0, self._quietly, self._life)  # type: ignore[attr-defined]
+
+    def quietly(self: Disk, life: int) -> None:
+        if life == self._life:
+            for store in self._under_way:
+                self._write(store)
+            self._under_way = []
+            if self._asked:
+                self._sync()
+
+    patch.setattr(Disk, "_sync", sync)
+    patch.setattr(Disk, "_quietly", quietly, raising=False)
+
+
+def applied_twice(patch: pytest.MonkeyPatch) -> None:
+    """After a change of leader its last entry is applied again."""
+    whole = Replica._begin_lead
+
+    def begin(self: Replica, now: float) -> None:
+        if self.applied > self._log.base:
+            self.applied -= 1
+        whole(self, now)
+
+    patch.setattr(Replica, "_begin_lead", begin)
+
+
+def ids_forgotten(patch: pytest.MonkeyPatch) -> None:
+    """A repeat of a call takes effect again."""
+    patch.setattr(Promise, "once", False)
+
+
+def reads_alone(patch: pytest.MonkeyPatch) -> None:
+    """Who believes that it leads answers reads at once, and goes on believing it unheard."""
+    def read(self: Replica, now: float, token: str) -> None:
+        error = self._refusal(0)
+        self._out.append(Done(token, error))
+
+    patch.setattr(Replica, "_read", read)
+    patch.setattr(Replica, "_has_quorum", lambda self, now: True)
+
+
+def short_logs(patch: pytest.MonkeyPatch) -> None:
+    """A vote is given whatever the asker's log lacks."""
+    whole = Replica._on_ask
+
+    def ask(self: Replica, now: float, who: str, said: Any) -> None:
+        whole(self, now, who, type(said)(said.group, said.term, 1 << 40, 1 << 40, said.pre, said.lead))
+
+    patch.setattr(Replica, "_on_ask", ask)
+
+
+def cuts_all(patch: pytest.MonkeyPatch) -> None:
+    """An append cuts the log behind it, also one that came late."""
+    whole = Replica._take
+
+    def take(self: Replica, entries: tuple[Any, ...]) -> bool:
+        if entries and self._log.base < entries[0].index <= self._log.last and not self._cut(entries[0].index):
+            return False
+        return whole(self, entries)
+
+    patch.setattr(Replica, "_take", take)
+
+
+def minority(patch: pytest.MonkeyPatch) -> None:
+    """One copy fewer than a majority is enough."""
+    patch.setattr(Config, "majority", lambda self: max(len(self.voters) // 2, 1))
+
+
+def snapshot_without_ids(patch: pytest.MonkeyPatch) -> None:
+    """A snapshot leaves one promise out."""
+    from fleet.promises import Promises
+    patch.setattr(Promises, "dump", lambda self: dict(list(self._kept.items())[1:]))
+
+
+FEW = {"copies": 3, "groups": 2, "keys": 3, "proposals": 60.0}
+def old_incarnation(patch: pytest.MonkeyPatch) -> None:
+    """Who comes back without its store goes on as who it was."""
+    whole = Disk.wipe
+
+    def wipe(self: Disk) -> None:
+        before = self.incarnation
+        whole(self)
+        self.incarnation = before
+
+    patch.setattr(Disk, "wipe", wipe)
+
+
+def learners_count(patch: pytest.MonkeyPatch) -> None:
+    """What a learner has stored counts for a majority."""
+    whole = Replica._advance
+
+    def advance(self: Replica, now: float) -> None:
+        whole(self, now)
+        if self.config.learners and self.role is Role.LEADER:
+            most = sorted((self._safe_index, *(peer.match for peer in self._peers.values())), reverse=True)
+            at = most[self.config.majority() - 1]
+            if self._may_count(at):
+                self._commit_to(now, min(at, self._log.last))
+
+    patch.setattr(Replica, "_advance", advance)
+
+
+TABLE: dict[str, Planted] = {
+    "vote told before it is stored": Planted(unstored_vote, ("vote-not-stored",)),
+    "entries told before they are stored": Planted(unstored_entries, ("STORED_FIRST",)),
+    "commit by counting an older term": Planted(older_terms, ("OWN_TERM",)),
+    "two votes in a term": Planted(votes_twice, ("VOTE_ONCE",), ("lossless", "links")),
+    "vote forgotten at a start": Planted(forgotten_vote, ("two-votes",), ("restless",), 24, 3),
+    "term forgotten at a start": Planted(forgotten_term, ("term-forgotten", "two-votes"), ("restless",), 24, 3),
+    "a store that lies": Planted(lying_disk, ("acknowledged-not-stored", "vote-not-stored")),
+    "applied twice": Planted(applied_twice, ("APPLIED_ONCE",)),
+    "a repeat taken again": Planted(ids_forgotten, ("twice",)),
+    "reads without a round": Planted(reads_alone, ("not-linear",), ("storm",), 24, 3, FEW),
+    "votes for short logs": Planted(short_logs, ("COMMITTED_STAYS", "lost", "logs-differ"), ("storm",), 24, 3,
+                                FEW),
+    "a late append cuts": Planted(cuts_all, ("COMMITTED_STAYS",), ("links",)),
+    "an old incarnation votes": Planted(old_incarnation, ("two-votes", "lost", "COMMITTED_STAYS"), ("wild",), 12),
+    "a learner counted as a voter": Planted(learners_count, ("committed-not-stored",), ("disks",), 6, 5,
+                                            {"proposals": 60.0}),
+    "a minority commits": Planted(minority, ("committed-not-stored", "two-leaders", "ONE_LEADER", "lost")),
+    "a snapshot that lacks a promise": Planted(snapshot_without_ids, ("lost", "not-linear"), ("machines", "storm"), 6, 3,
+                                              {**FEW, "snapshot_entries": 20}),
+}
+
+
+def restless(seed: int) -> Plan:
+    """Slow links, and processes that end and are back at once: elections meet elections."""
+    rng = Random(seed)
+    faults = [Fault(1000.0, "delay", "gateways", ((1,), (2,), (3,)), rng.choice((60.0, 120.0, 200.0)))]
+    at = 1500.0
+    while at < 12_000.0:
+        who = ((rng.randint(1, 3),),)
+        faults += [Fault(at, "kill", "gateway", who), Fault(at + rng.uniform(1.0, 60.0), "start", "gateway", who)]
+        at += rng.uniform(30.0, 500.0)
+    faults.sort(key=lambda fault: fault.at_ms)
+    return Plan(seed, 3, groups=8, length_ms=12_000.0, proposals=10.0, faults=tuple(faults))
+
+
+def plans(planted: Planted) -> Iterable[Plan]:
+    for seed in range(1, planted.seeds + 1):
+        for kind in planted.kinds:
+            drawn = restless(seed) if kind == "restless" else draw(seed, planted.members, kind)
+            yield replace(drawn, **planted.changes)
+
+
+def sought(planted: Planted) -> tuple[int, list[str]]:
+    """After how many runs it was found, and all names that were found on the way."""
+    seen: dict[str, None] = {}
+    for count, plan in enumerate(plans(planted), 1):
+        played: Played = play(plan)
+        seen.update(dict.fromkeys(played.names))
+        if not set(planted.names).isdisjoint(played.names):
+            return count, list(seen)
+    return 0, list(seen)
+
+
+@pytest.mark.parametrize("name", TABLE)
+def test_a_planted_fault_is_found_by_its_name(name: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    planted = TABLE[name]
+    planted.patch(monkeypatch)
+    count, seen = sought(planted)
+    assert count, f"not found in {planted.seeds} seeds; seen: {seen}"
--- a/tests/test_fleet_world.py
+++ b/tests/test_fleet_world.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from dataclasses import replace
 from random import Random
 from typing import Any
 
@@ -13,7 +14,10 @@
 from lab.fleet.checker import Op, judge, linear
 from lab.fleet.clock import Clock
 from lab.fleet.disk import Disk
+from lab.fleet.drawn import play, play_seed, shrink
+from lab.fleet.faults import KINDS, Plan, draw
 from lab.fleet.network import Calendar, Network
+from lab.text.scenario import Fault
 
 
 def put(key: str, number: int, invoked: float, returned: float, before: str | None, fate: str = "answered") -> Op:
@@ -151,3 +155,21 @@
     before = shelf.disk.incarnation
     shelf.disk.wipe()
     assert shelf.disk.incarnation != before and not shelf.disk.groups and not shelf.disk.full
+
+
+def test_drawn_plans_of_every_kind_keep_all_promises() -> None:
+    played = [play_seed(seed) for seed in range(101, 101 + 2 * len(KINDS))]
+    assert {one.plan.seed: one.names for one in played if one.names} == {}
+    assert min(one.figures.promises_acknowledged or 0 for one in played) > 50
+
+
+def test_a_seed_gives_the_same_bytes_again() -> None:
+    first, again = (play(replace(draw(6), length_ms=6000.0)) for _ in range(2))
+    assert first.plain() == again.plain() and (first.figures.promises_acknowledged or 0) > 30
+
+
+def test_a_failing_plan_is_shrunk_and_can_be_kept(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Config, "majority", lambda self: max(len(self.voters) // 2, 1))
+    small = shrink(replace(draw(5, 3), length_ms=6000.0), most=25)
+    assert small.names and len(small.plan.faults) <= 1
+    assert eval(small.plan.text(), {"Plan": Plan, "Fault": Fault}) == small.plan
