Take the next step of a copy's move at once, not at the next look

On sockets copies were whole again 10.3 s after a loss, over the 10 s asked for: each of three steps of a move waited up to 400 ms for the leader's next look at the placing. A step that is done now has the next look within 50 ms.

--- a/fleet/node.py
+++ b/fleet/node.py
@@ -63,6 +63,7 @@
 TRY_PART = 0.25  # of `call_ms`, after which a call without an answer is made again: its id makes that harmless
 PAUSE_MS = 40.0  # before a call that found no leader is made again
 LATE_MS = 1000.0  # a voter that has not caught up for so long is reported as behind
+SOON_MS = 50.0  # and again so soon, while something changes
 PLACES_MS = 400.0  # a member that leads a group reads so often who is to copy it
 ANY = "*"  # in Setup.servers: each server that is not named
 POLL_MS = 20.0  # the holders' calls are looked for so often
@@ -494,6 +495,8 @@
             for group, replica in list(self.replicas.items()):
                 if replica.leading and group not in self._changing and self._leaving is None:
                     effects += self._members(at, wall, group, replica)
+                    if group in self._places.moves:
+                        self._places_at = min(self._places_at, at + SOON_MS)
             return effects
 
         return self._ask(now, wall, Places(id=self._token()), read)
@@ -523,6 +526,7 @@
 
         def changed(at: float, result: Any) -> list[Effect]:
             self._changing.pop(group, None)
+            self._places_at = min(self._places_at, at + SOON_MS)  # the next step does not wait for its turn
             return []
 
         self._ours[token] = changed
