--- a/lab/stage/run.py
+++ b/lab/stage/run.py
@@ -66,7 +66,7 @@
         self._gateways: list[GatewayProcess] = []
         self._dead_at = [0.0] * scenario.gateways
         self._spike, self._rids, self._begun = 1.0, 0, 0.0
-        self.asking = True
+        self.asking = self._looking = True
         self.worst_lag_ms = 0.0
         self.counts = {"served": 0, "refused": 0, "failed": 0, "lost": 0}
 
@@ -198,6 +198,7 @@
             await asyncio.sleep(TEND_S)
 
     async def _close(self) -> None:
+        self._looking = False
         for task in self._tasks:
             task.cancel()
         if self.fleet is not None:
@@ -225,7 +226,7 @@
             self._show({"event": "second", "at_ms": self.now, "counts": dict(self.counts),
                         "asked": sum(row.asked for row in rows), "sent": sum(row.sent for row in rows),
                         "beyond": sum(row.beyond for row in rows), "oracle": sum(row.oracle for row in rows)})
-        if self.asking:
+        if self._looking:
             loop.call_later(0.1, self._look, loop.time() + 0.1)
 
     # Clients ----------------------------------------------------------------------------------------------
