Read a roll without an entry of the log, list rolls, and let a node lead nothing on demand

RollRead went through the log, and its ids pushed those of real calls out of the table; Rolls now has look. RollsRead tells operators every roll.

--- a/fleet/node.py
+++ b/fleet/node.py
@@ -104,6 +104,7 @@
         self._saved = dict(saved)
         self._halls = {member.name: member.hall for member in setup.members}
         self.load: dict[str, float] = {"capacity": setup.capacity}
+        self.lead_nothing = False  # set by the shell while a roll takes this gateway: what is led goes to others
         self.holders = list(holders)
         self.replicas: dict[str, Replica] = {}
         self.states: dict[str, GroupState] = {}
@@ -269,6 +270,8 @@
             for group, replica in list(self.replicas.items()):
                 if replica.leading and self._leaving is None:
                     effects += self._work(now, wall, group, replica)
+                    if self.lead_nothing:
+                        effects += self._feed(now, group, HandOver())
             if self._places_at <= now:
                 self._places_at = now + PLACES_MS
                 effects += self._read_places(now, wall)
--- a/fleet/rollout.py
+++ b/fleet/rollout.py
@@ -267,13 +267,20 @@
 
 
 class RollRead(Command, frozen=True):
-    """Where a gateway stands.  Changes nothing: a leader may answer it by a read instead of an entry."""
+    """Where a gateway stands."""
 
+    reads: ClassVar[bool] = True
     gateway: str
-    read_only: ClassVar[bool] = True
 
 
-OPERATORS: tuple[type[Command], ...] = (RollAsk, RollCancel, RollResume, RollRead)  # the others are the fleet's own
+class RollsRead(Command, frozen=True):
+    """Every roll that is kept, for operators: its state, why, and where each gateway stands."""
+
+    reads: ClassVar[bool] = True
+
+
+# The others are the fleet's own.
+OPERATORS: tuple[type[Command], ...] = (RollAsk, RollCancel, RollResume, RollRead, RollsRead)
 COMMANDS: tuple[type[Command], ...] = (*OPERATORS, RollTurn, RollWave, RollStep, RollReport)
 
 
@@ -351,6 +358,10 @@
             return self._report(at_ms, roll, command)
         return Applied(error=BadCall("roll", f"unknown command {type(command).__name__}"))
 
+    def look(self, command: RollRead | RollsRead) -> Applied:
+        """Read where one gateway stands, or every roll."""
+        return Applied(self.told() if isinstance(command, RollsRead) else self.where(command.gateway))
+
     def _ask(self, at_ms: float, command: RollAsk) -> Applied:
         if command.roll in self.rolls:
             return Applied(error=WrongState(command.roll, "a roll of that name is known already"))
