Bring a call on to another leader where one can promise nothing any more

On a full disk 15 promises were refused for good: the leader whose store broke answered instead of passing them on, and the caller took its word.

--- a/badgeryoke/fleet/service.py
+++ b/badgeryoke/fleet/service.py
@@ -44,7 +44,7 @@
 from fleet.groups import forced
 from fleet.invariants import Invariants, Rule
 from fleet.messages import AnyMessage, Id
-from fleet.node import Member, Node, Setup
+from fleet.node import ANY, Member, Node, Setup
 from fleet.part import Applied, Command
 
 log = logging.getLogger("badgeryoke.fleet")
@@ -53,7 +53,6 @@
 AGAIN_S = 0.2  # between tries for a folder or an address that a process before still holds
 LEAVE_S = 1.0  # for the node to hand its groups over at a planned end
 END_S = 0.5  # for the store's last transaction
-ANY_SERVER = "*"  # in Setup.servers: the limit of each server that is not named
 
 
 class NodeLike(Protocol):
@@ -78,7 +77,7 @@
     """What the operators' file says, as a node is told it."""
     servers = dict(fleet.servers.limits)
     if fleet.servers.connections:
-        servers[ANY_SERVER] = fleet.servers.connections
+        servers[ANY] = fleet.servers.connections
     return Setup(fleet.name, fleet.me or name, incarnation,
                  tuple(Member(one.name, one.hall, one.address) for one in fleet.members),
                  fleet.copies, fleet.groups, fleet.timings, fleet.capacity, servers)
--- a/fleet/node.py
+++ b/fleet/node.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from fleet.connections import Limit, bucket
-from fleet.errors import AnyError, BadCall, Crowded, FleetError, InvariantBroken, NoLeader, UnknownOutcome
+from fleet.errors import AnyError, BadCall, Crowded, FleetError, InvariantBroken, NoLeader, StoreFailed, UnknownOutcome
 from fleet.events import (
     Call,
     Done,
@@ -84,6 +84,7 @@
     round: int = 0  # of looking for the leader
     tries: int = 0
     open: int = 0  # the try that has no answer yet
+    last: FleetError | None = None  # what the last try came to
     maybe: bool = False  # an earlier try may have been taken: no answer came, or one that did not know
 
 
@@ -262,7 +263,8 @@
             if call.until <= now:
                 del self._calls[token]
                 call.maybe = call.maybe or call.open > 0
-                effects += call.answer(now, self._final(call, NoLeader(call.group, "none was found in time")))
+                nobody = call.last or NoLeader(call.group, "none was found in time")
+                effects += call.answer(now, self._final(call, nobody))
             elif call.again <= now:
                 effects += self._try(now, wall, token, call)
         if self._work_at <= now and self.founding.record is not None:
@@ -283,7 +285,8 @@
                         effects += self._ask(now, wall, command, self._holder_answer(holder, command))
         if self._leaving is not None:
             token, until = self._leaving
-            if until <= now or not any(replica.leading for replica in self.replicas.values()):
+            if until <= now or not any(replica.leading and len(replica.config.voters) > 1
+                                       for replica in self.replicas.values()):
                 self._leaving = None
                 effects.append(Done(token, None))
         self.due = min([self._work_at, self._poll_at, self.founding.due, self.membership.due,
@@ -371,8 +374,10 @@
             return []  # it had its answer, or its time
         if call.open == number:
             call.open = 0
-        if isinstance(result, NoLeader | Crowded | UnknownOutcome):
-            # It is made again: its id, or the order that it states, makes a repeat of what was taken harmless.
+        if isinstance(result, NoLeader | Crowded | UnknownOutcome | StoreFailed | InvariantBroken):
+            # It is made again: its id, or the order that it states, makes a repeat of what was taken harmless, and where
+            # a leader can promise nothing any more there will be another one.
+            call.last = result
             call.maybe = call.maybe or isinstance(result, UnknownOutcome)
             if call.open == 0:
                 call.again = now + PAUSE_MS * self._draw.uniform(0.5, 1.5)
@@ -410,8 +415,8 @@
         if problem:
             return reply(now, BadCall(command.id, problem))
         replica = self.replicas.get(message.group)
-        if self._broken is not None or replica is None:
-            return reply(now, self._broken or NoLeader(message.group, f"no copy at {self.setup.me}"))
+        if replica is None:
+            return reply(now, NoLeader(message.group, f"no copy at {self.setup.me}"))
         if replica.leading:
             return self._take(now, wall, message.group, command, reply)
         return reply(now, NoLeader(message.group, f"not led by {self.setup.me}"))
