--- a/fleet/contracts.py
+++ b/fleet/contracts.py
@@ -864,7 +864,8 @@
             self._fresh.add(command.contract)
         until, then = self._until(found, span) if span is not None else (0.0, 0.0)
         value = {"number": given.number, "part": given.part, "room": given.room, "cap": given.cap, "fair": given.fair,
-                 "most": given.most, "fair_cap": given.fair_cap, "spare": given.spare, "holders": given.holders, "version": found.version,
+                 "most": given.most, "lack": given.lack,
+                 "fair_cap": given.fair_cap, "spare": given.spare, "holders": given.holders, "version": found.version,
                  "from_ms": span[0] if span is not None else 0.0, "until_ms": until, "then": then}
         if given.number:
             found.answers[command.holder] = command.id, value
--- /dev/null
+++ b/fleet/floor.py
@@ -0,0 +1,455 @@
+"""A gateway's side of contracts: its part of each, held under a lease, and the bucket that requests draw from.
+
+It asks its tenant's group for a part, in the order of `fleet.leases`: use less, give back, be granted, use more.  A
+lease counts from before it was asked for first, by this machine's monotonic clock, and ends by it, whatever was lost.  A
+window's begin and end, and the moment of another version, go by `wall`.
+
+Where the tenant's traffic comes in moves every few seconds, and within that second its rate has to be there.  So
+
+- a gateway that the traffic left gives its part back after a few empty gaps between requests, not after an average;
+- one that it came to asks at once, and goes on asking until it has its due;
+- meanwhile it serves from its bucket: every gateway of the fleet keeps an even part of the contract's burst, without
+  any rate; the one that was left fills its bucket meanwhile, and keeps that for the way back.
+
+A part that the tenant does not use is lent to others here; it is theirs no more with the tenant's first request here,
+and within `BUSY_MS` and a call where the tenant asks elsewhere.
+
+Source: leases as in Gray and Cheriton, SOSP 1989; the bucket is GCRA's (ITU-T I.371) with its level kept.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from typing import Any
+
+from fleet.contracts import EARLY_MS, ContractsKnown, Lease, Short
+from fleet.errors import BadCall, FleetError, LeaseOver, NotThere
+from fleet.leases import EDGE
+from fleet.messages import Id
+from fleet.part import Applied, Command
+from fleet.timings import Timings
+
+KNOWN_MS = 1000.0  # between two looks at what contracts there are; at 100 gateways and more 10 ms for each
+BUSY_MS = 180.0  # between two askings of one that uses or lends its part while others hold one
+URGENT_MS = 10.0  # the least between two askings, doubled while nothing comes, up to LACKS_MS
+LACKS_MS = 20.0
+RETRY_MS = 50.0  # after a call without an outcome, doubled up to RETRY_MOST_MS
+RETRY_MOST_MS = 400.0
+REPORT_MS = 1000.0  # between two reports of units short
+FAST_MS, SLOW_MS = 150.0, 1000.0  # averages of what is asked for
+QUIET_GAPS, GONE_GAPS = 3.0, 6.0  # mean gaps between requests after which it looks, and after which it gives up
+GAP_LEAST_MS, GAP_MOST_MS = 25.0, 1000.0
+YOUNG_MS = 40.0  # an average is over so long at the least
+MARGIN = 1.5  # standard errors of what is asked for by which the wish lies above it
+FELL = 0.7  # a wish below so much of the last one is told at once
+SLIGHT = 0.1  # of the rate: above what others leave by so much, a part in use is given back at once
+REST_MS = 1000.0  # without a request until a part is shared out evenly for lending
+LOOK_MS = 250.0  # without a request while it looks often whether the traffic has come up elsewhere
+WAIT_MS = 250.0  # for its turn, of a request that finds no room
+QUEUE_MS = 150.0  # of a part: so much waits, as long as nothing is lacking
+MOST_WAITING = 1024
+PACED_MS = 30.0
+DUE_MS = 500.0  # of what is due and not granted, kept to tell units short from units beyond the contract
+NO_LEASE = "no lease"
+
+
+@dataclass(frozen=True, slots=True)
+class Reserved:
+    """Units drawn under a lease: the request goes before all others, and is refused for no quota and no load."""
+
+    contract: str
+    units: float
+    rank: int
+
+
+@dataclass(slots=True)
+class _Demand:
+    """What is asked for, units a second: two averages over time, right from the first request on."""
+
+    fast: float = 0.0
+    slow: float = 0.0
+    count: float = 0.0
+    at: float = 0.0
+    born: float = 0.0
+    last: float = -math.inf
+    seen: int = 0
+    mean: float = 0.0  # ms between requests, as of the last
+
+    def note(self, now: float, units: float) -> None:
+        if now > self.last + max(REST_MS, 4.0 * self.mean):  # what came before says nothing any more
+            self.fast = self.slow = self.count = 0.0
+            self.born = self.at = now
+            self.seen = 0
+        self._fade(now)
+        self.fast, self.slow, self.count, self.last = self.fast + units, self.slow + units, self.count + 1.0, now
+        self.seen += 1
+        self.mean = SLOW_MS * self._whole(SLOW_MS) / self.count
+
+    def _fade(self, now: float) -> None:
+        since, self.at = now - self.at, now
+        self.fast *= math.exp(-since / FAST_MS)
+        self.slow *= math.exp(-since / SLOW_MS)
+        self.count *= math.exp(-since / SLOW_MS)
+
+    def gone(self, now: float, gaps: float = 0.0) -> bool:
+        """Nothing came for so many times the mean gap between requests."""
+        gaps = gaps or GONE_GAPS
+        return now - self.last > min(max(gaps * self.mean, GAP_LEAST_MS * gaps / QUIET_GAPS), GAP_MOST_MS)
+
+    def _whole(self, tau: float) -> float:
+        """The part of an average's weight that lies behind its birth."""
+        return 1.0 - math.exp(-max(self.at - self.born, YOUNG_MS) / tau)
+
+    def rate(self, now: float) -> float:
+        if self.seen < 2:  # one request alone tells nothing
+            return 0.0
+        self._fade(now)
+        fast = self.fast / (FAST_MS * self._whole(FAST_MS)) * 1000.0
+        slow = self.slow / (SLOW_MS * self._whole(SLOW_MS)) * 1000.0
+        unit = self.slow / self.count
+        spread = math.sqrt(max(slow, EDGE) * unit * 1000.0 / (2.0 * FAST_MS))
+        found = slow if abs(fast - slow) <= 3.0 * spread else fast
+        return found * (1.0 + MARGIN / math.sqrt(max(self.count, 1.0)))
+
+
+@dataclass(slots=True)
+class Stake:
+    """What this gateway holds of one contract."""
+
+    contract: str
+    tenant: str
+    rank: int
+    facts: dict[str, Any]
+    customers: list[tuple[float, frozenset[int]]]  # from a moment on
+    number: int = 0
+    part: float = 0.0  # units a second
+    cap: float = 0.0
+    level: float = 0.0  # units in the bucket
+    filled: float = 0.0  # up to when
+    ends: float = -math.inf  # monotonic
+    from_ms: float = 0.0  # Unix ms
+    until_ms: float = 0.0
+    then: float = 0.0
+    fair: float = 0.0
+    moved: float = -math.inf  # when `fair` last became another: the traffic is on its way here or elsewhere
+    most: float = 0.0
+    lack: float = 0.0
+    fair_cap: float = 0.0
+    holders: int = 0
+    wish: float = 0.0
+    out: Lease | None = None
+    asked: float = 0.0  # when `out` was made first
+    again: float = math.inf  # when to make it again
+    sent: float = -math.inf
+    pause: float = URGENT_MS
+    waiting: deque[tuple[float, float, Any]] = field(default_factory=deque)  # until when, units, token
+    demand: _Demand = field(default_factory=_Demand)
+    paced: float = -math.inf
+    due: float = 0.0
+    drawn: float = 0.0
+    short: dict[str, float] = field(default_factory=dict)
+    told: dict[str, float] = field(default_factory=dict)
+    since: dict[str, float] = field(default_factory=dict)
+    report: float = 0.0
+
+    def times(self, wall: float) -> tuple[float, float] | None:
+        """The window that holds now, or is about to."""
+        for version in reversed(self.facts["versions"]):
+            if wall >= version["holds_from_ms"]:
+                for begin, end in version["times"]:
+                    if begin - EARLY_MS <= wall < end:
+                        return begin, end
+                return None
+        return None
+
+    def rate(self, wall: float) -> float:
+        """Of the contract, units a second."""
+        return next((float(v["rate"]) for v in reversed(self.facts["versions"]) if wall >= v["holds_from_ms"]), EDGE)
+
+    def draw(self, now: float, wall: float, units: float) -> bool:
+        """Take units from the bucket, if they are there."""
+        # Without its due part yet, the bucket has to last until that comes: no faster than the contract's rate.
+        paced = self.part <= 0.0 or self.lacks(self.wish)
+        if self.level < units - EDGE or (paced and now < self.paced):
+            return False
+        self.paced = max(self.paced, now - PACED_MS) + units / self.rate(wall) * 1000.0
+        self.level -= units
+        self.drawn += units
+        return True
+
+    def lost(self, units: float, wall: float) -> None:
+        """A request found no room: short as far as more is due here than was granted, else beyond the contract."""
+        lost = min(units, self.due)
+        if lost > EDGE:
+            self.due -= lost
+            self.count(NO_LEASE, lost, wall)
+
+    def count(self, cause: str, units: float, wall: float) -> None:
+        """Units short."""
+        self.short[cause] = self.short.get(cause, 0.0) + units
+        self.since.setdefault(cause, wall)
+
+    def queued(self) -> float:
+        """Units that wait."""
+        return float(sum(one[1] for one in self.waiting))
+
+    def lacks(self, wish: float) -> bool:
+        """Whether it has less than its due."""
+        return self.part < min(self.fair, wish) * (1.0 - SLIGHT) - EDGE
+
+    def fill(self, now: float, wall: float) -> None:
+        """Bring the bucket up to now; a part ends by itself with its lease, its window, or its version."""
+        if now <= self.filled:
+            return
+        end = min(now, self.ends)
+        begin = min(max(self.filled, now + self.from_ms - wall), end)
+        turn = min(max(now + self.until_ms - wall, begin), end)
+        old = self.part
+        if wall >= self.until_ms and self.until_ms < math.inf:
+            self.part, self.cap = self.part * self.then, self.cap * self.then
+            self.until_ms = math.inf  # it has turned; what holds from here on is asked for at once
+        gained = (old * (turn - begin) + self.part * (end - turn)) / 1000.0
+        self.level = min(self.level + max(gained, 0.0), self.cap)
+        if self.demand.gone(now):
+            self.due = 0.0
+        else:
+            lacking = max(self.fair - (self.part if now < self.ends else 0.0), 0.0)
+            self.due = min(self.due + lacking * (now - self.filled) / 1000.0, self.fair * DUE_MS / 1000.0)
+        self.filled = now
+        if now >= self.ends:
+            self.part = self.cap = self.level = 0.0
+
+
+class Floor:
+    """All stakes of one gateway; a `fleet.setup.Holder`.
+
+    `me`: this member; `process`: drawn at each start, so that no id and no total of a process before is meant.
+    """
+
+    def __init__(self, me: Id, process: str, timings: Timings, hall: str = "", gateways: int = 1) -> None:
+        self._me, self._process, self._timings, self._hall = me, process, timings, hall
+        self.known_ms = max(KNOWN_MS, 10.0 * gateways)
+        self.stakes: dict[str, Stake] = {}
+        self._of: dict[int, list[Stake]] = {}
+        self._known, self._look = -1, -math.inf
+        self._out: dict[str, Command] = {}  # one call of each key at a time
+        self._made = 0
+        self._ahead = 0.0  # wall less now
+
+    def poll(self, now: float, wall: float) -> list[Command]:
+        """See fleet.setup.Holder."""
+        self._ahead = wall - now
+        made = list(self._calls(now, wall))
+        for one in made:
+            self._out[one.key()] = one
+        return made
+
+    def _calls(self, now: float, wall: float) -> Iterator[Command]:
+        busy = set(self._out)
+        for one in sorted(self.stakes.values(), key=lambda stake: stake.sent):
+            if f"t:{one.tenant}" not in busy and (lease := self._lease(now, wall, one)) is not None:
+                busy.add(lease.key())
+                yield lease
+        if "" in busy:
+            return
+        for one in self.stakes.values():
+            cause = next((cause for cause, units in one.short.items() if units > one.told.get(cause, 0.0)), None)
+            if cause is not None and now >= one.report:
+                one.report = now + REPORT_MS
+                yield Short(id=self._id(), contract=one.contract, by=f"{self._me}#{self._process}", cause=cause,
+                            units=one.short[cause], since_ms=one.since[cause])
+                return
+        if now >= self._look + self.known_ms:
+            self._look = now
+            yield ContractsKnown(id=self._id(), have=self._known)
+
+    def _id(self) -> str:
+        self._made += 1
+        return f"{self._me}#{self._process}/{self._made}"
+
+    def _lease(self, now: float, wall: float, one: Stake) -> Lease | None:
+        if one.out is not None:
+            if now < one.again:
+                return None
+            one.again = math.inf
+            return one.out
+        one.fill(now, wall)
+        times = one.times(wall)
+        if times is None:
+            if one.number == 0 or (one.part <= 0.0 and now < one.sent + self._timings.lease_ms / 3.0):
+                return None
+            return self._ask(now, one, 0.0, 0.0, False, False)  # the window is over: give it back
+        rate, quiet = one.rate(wall), now - one.demand.last
+        queued = one.queued() * 1000.0 / QUEUE_MS
+        # The traffic seems to have gone: that is told at once where others have less than their due, else after a rest.
+        gone = quiet >= REST_MS or (one.demand.gone(now) and (one.lack > EDGE or one.wish <= 0.0))
+        wish = min(queued if gone else max(one.demand.rate(now), queued), rate)
+        others = one.holders > 1 or one.number == 0
+        regular = BUSY_MS if others and (one.part > EDGE or wish > 0.0) else self._timings.lease_ms / 3.0
+        turned = one.until_ms == math.inf and one.number != 0  # its version or window has turned
+        above = one.part - one.most if wish > 0.0 else min(one.part, one.lack)
+        moving = now < one.moved + LOOK_MS and wish * (1.0 - SLIGHT) > one.part
+        urgent = one.lacks(wish) or moving or one.wish < FELL * wish or turned or above > SLIGHT * rate or (
+            one.demand.gone(now, QUIET_GAPS) and quiet < LOOK_MS and one.part > EDGE)
+        if now < one.sent + (min(one.pause, regular) if urgent else regular):
+            return None
+        # What nobody lacks stays where it was last used, and is shared out evenly only after a rest.
+        keep = one.fair if quiet >= REST_MS else one.part - max(above, 0.0) + max(wish - one.wish, 0.0)
+        return self._ask(now, one, min(one.part, max(keep, 0.0)), wish, quiet >= REST_MS or wish > 0.0, True, urgent)
+
+    def _ask(self, now: float, one: Stake, keep: float, wish: float, soft: bool, stay: bool,
+             urgent: bool = False) -> Lease:
+        """Use less from here on, then say so."""
+        hold = min(one.cap, one.fair_cap) if stay else 0.0
+        if wish > 0.0 and one.lack > EDGE and one.level > 0.9 * hold:
+            hold -= hold / 4.0  # full while in use: more would run over, and another may be short
+        room = max(one.level - hold, 0.0)
+        one.part, one.cap, one.level = keep, hold, one.level - room
+        changed = not one.wish <= 2.0 * wish <= 4.0 * one.wish
+        one.pause = URGENT_MS if changed or not urgent else min(1.5 * one.pause, LACKS_MS)
+        one.wish, one.sent, one.asked = wish, now, now
+        # Units that nobody holds are for those that wait for traffic, or for their part.
+        idle = wish <= 0.0 or one.lacks(wish) or one.holders < 2 or now < one.moved + LOOK_MS
+        need = max(hold - one.level, 0.0) if idle else 0.0
+        one.out = Lease(id=self._id(), tenant=one.tenant, contract=one.contract, holder=self._me, number=one.number,
+                        keep=keep, wish=wish, room=room, hold=hold, need=need, soft=soft)
+        return one.out
+
+    def answered(self, now: float, command: Command, result: Applied | FleetError) -> None:
+        """See fleet.setup.Holder."""
+        if self._out.get(command.key()) is command:
+            del self._out[command.key()]
+        error = result if isinstance(result, FleetError) else result.error
+        value: Any = result.value if isinstance(result, Applied) else None
+        if isinstance(command, ContractsKnown):
+            if error is None and "contracts" in value:
+                self._learn(now, value["known"], value["contracts"])
+        elif isinstance(command, Short):
+            if error is None and command.contract in self.stakes:
+                told = self.stakes[command.contract].told
+                told[command.cause] = max(told.get(command.cause, 0.0), command.units)
+        elif isinstance(command, Lease):
+            one = self.stakes.get(command.contract)
+            if one is not None and one.out is not None and one.out.id == command.id:
+                self._answered(now, one, error, value)
+
+    def _answered(self, now: float, one: Stake, error: FleetError | None, value: Any) -> None:
+        one.fill(now, now + self._ahead)
+        if error is None:
+            one.out, one.again = None, math.inf
+            one.number = value["number"]
+            if abs(value["fair"] - one.fair) > SLIGHT * one.rate(now + self._ahead):
+                one.moved = now
+            one.fair, one.most, one.fair_cap = value["fair"], value["most"], value["fair_cap"]
+            one.holders, one.lack = value["holders"], value["lack"]
+            one.from_ms, one.until_ms, one.then = value["from_ms"], value["until_ms"], value["then"]
+            one.ends = one.asked + self._timings.lease_ms
+            if now < one.ends:
+                one.part, one.cap = value["part"], value["cap"]
+                one.level = min(one.level + value["room"], one.cap)
+        elif isinstance(error, LeaseOver | BadCall):  # it is over there, and so here; what it was is lost
+            one.out, one.again, one.number = None, math.inf, 0
+            one.part = one.cap = one.level = 0.0
+            one.pause = min(max(2.0 * one.pause, RETRY_MS), RETRY_MOST_MS)
+            one.sent = now
+        elif isinstance(error, NotThere):  # not open there yet, or no more
+            one.out, one.again = None, math.inf
+            one.sent, one.pause = now, RETRY_MOST_MS
+        else:  # it may have been taken: only the same call can tell
+            one.pause = min(max(2.0 * one.pause, RETRY_MS), RETRY_MOST_MS)
+            one.again = now + one.pause
+
+    def _learn(self, now: float, known: int, contracts: list[dict[str, Any]]) -> None:
+        self._known = known
+        kept: dict[str, Stake] = {}
+        for facts in contracts:
+            if facts["hall"] and facts["hall"] != self._hall:
+                continue
+            name = facts["contract"]
+            one = kept[name] = (self.stakes.get(name)
+                                or Stake(name, facts["tenant"], facts["rank"], facts, [], filled=now))
+            one.facts, one.rank = facts, facts["rank"]
+            one.customers = [(v["holds_from_ms"], frozenset(v["customers"])) for v in facts["versions"]]
+        for name, one in self.stakes.items():  # settled: its lease ends by itself, and what is short is told first
+            if name not in kept and any(units > one.told.get(cause, 0.0) for cause, units in one.short.items()):
+                kept[name] = one
+        self.stakes = kept
+        self._of = {}
+        for one in sorted(kept.values(), key=lambda stake: (stake.rank, stake.contract)):
+            for customer in sorted({customer for _, some in one.customers for customer in some}):
+                self._of.setdefault(customer, []).append(one)
+
+    def take(self, now: float, customer: int, units: float) -> Reserved | None:
+        """Draw from the first contract of a customer that has room here.  None: `wait`, or it is an ordinary request."""
+        for one in self._open(now, customer):
+            one.demand.note(now, units)
+            if not one.waiting and one.draw(now, now + self._ahead, units):
+                return Reserved(one.contract, units, one.rank)
+        return None
+
+    def wait(self, now: float, customer: int, units: float, token: Any) -> bool:
+        """Let a request that `take` had no room for wait its turn, in order, `WAIT_MS` at the most; `turns` gives it
+        back.  False where more wait than can have their turn by then: it is an ordinary request."""
+        wall = now + self._ahead
+        for one in self._open(now, customer):
+            most = one.part * QUEUE_MS if not one.lacks(one.wish) else one.rate(wall) * WAIT_MS
+            if len(one.waiting) < MOST_WAITING and one.queued() + units <= max(most / 1000.0, units):
+                one.waiting.append((now + WAIT_MS, units, token))
+                return True
+            one.lost(units, wall)
+        return False
+
+    def turns(self, now: float) -> list[tuple[Any, Reserved | None]]:
+        """Who has waited and has its turn now, or none in time."""
+        made: list[tuple[Any, Reserved | None]] = []
+        wall = now + self._ahead
+        for one in self.stakes.values():
+            while one.waiting:
+                until, units, token = one.waiting[0]
+                one.fill(now, wall)
+                drawn = now <= until and one.draw(now, wall, units)
+                if not drawn and now <= until:
+                    break
+                one.waiting.popleft()
+                if not drawn:
+                    one.lost(units, wall)
+                made.append((token, Reserved(one.contract, units, one.rank) if drawn else None))
+        return made
+
+    def _open(self, now: float, customer: int) -> Iterator[Stake]:
+        wall = now + self._ahead
+        for one in self._of.get(customer, ()):
+            times = one.times(wall)
+            if times is not None and wall >= times[0] and any(
+                    customer in some for begin, some in one.customers if wall >= begin):
+                one.fill(now, wall)
+                yield one
+
+    def failed(self, now: float, reserved: Reserved, cause: str) -> None:
+        """Units drawn under a contract that no server served: short, by a cause ("load", "server lost", ...)."""
+        if (one := self.stakes.get(reserved.contract)) is not None:
+            one.count(cause, reserved.units, now + self._ahead)
+
+    def lend(self, now: float) -> float:
+        """Units a second of parts held here that the tenants do not use now."""
+        idle = 0.0
+        for one in self.stakes.values():
+            if now + self._ahead >= one.from_ms:
+                one.fill(now, now + self._ahead)
+                idle += max(one.part - (0.0 if one.demand.gone(now) else one.demand.rate(now)), 0.0)
+        return idle
+
+    def held(self, now: float) -> float:
+        """Units a second that this gateway holds of all contracts."""
+        for one in self.stakes.values():
+            one.fill(now, now + self._ahead)
+        return sum(one.part for one in self.stakes.values() if now + self._ahead >= one.from_ms)
+
+    def status(self, now: float) -> dict[str, Any]:
+        """For operators."""
+        return {name: {"part": one.part, "level": one.level, "fair": one.fair, "asked": one.demand.rate(now),
+                       "ends_in_ms": max(one.ends - now, 0.0), "drawn": one.drawn, "short": dict(one.short)}
+                for name, one in self.stakes.items()}
--- a/fleet/leases.py
+++ b/fleet/leases.py
@@ -27,6 +27,8 @@
 
 EDGE = 1e-9
 MOST_HOLDERS = 1024
+MOST_GAP_MS = 250.0
+STANDBY = 0.5
 MOST_SOFT = 20  # holders that get a part of what no wish needs; each of them asks often
 
 
@@ -54,6 +56,8 @@
     cap: float = 0.0
     fair: float = 0.0
     fair_cap: float = 0.0
+    most: float = 0.0  # what it may hold on to: its fair part, all that nobody wishes, all that nobody lacks
+    lack: float = 0.0  # what others have less than they would, if this one wished nothing
 
 
 @dataclass(slots=True)
@@ -70,6 +74,7 @@
     last: int = 0
     free: float = -1.0  # units of the bucket that nobody holds; begins at `depth`
     even: bool = True
+    at_ms: float = 0.0  # the group's time up to which it has accrued
 
     def __post_init__(self) -> None:
         self.free = self.depth if self.free < 0 else self.free
@@ -88,6 +93,13 @@
         self.aim, self.depth = whole, depth
         self.free = max(min(self.free, depth - self._caps()), 0.0)
 
+    def accrue(self, at_ms: float) -> None:
+        """What nobody holds fills the bucket as well, by the group's time; of a gap in that, `MOST_GAP_MS` count."""
+        gap = min(max(at_ms - self.at_ms, 0.0), MOST_GAP_MS)
+        more = max(self.aim - self.granted(), 0.0) * gap / 1000.0
+        self.free = max(min(self.free + more, self.depth - self._caps()), 0.0)
+        self.at_ms = max(at_ms, self.at_ms)
+
     def ask(self, who: Id, number: int, keep: float, wish: float, room: float, rules: Invariants,
             hold: float = 0.0, need: float = 0.0, soft: bool = False) -> Grant | BadCall | LeaseOver:
         """Renew, shrink, grow or give back (wish 0, keep 0, not soft).  `number` 0: it holds none.
@@ -108,7 +120,7 @@
         self.held.pop(who, None)
         # What it gives back lay in the depth that it gives back, so caps and free units stay within the depth.
         self.free = max(min(self.free + room, self.depth - self._caps() - hold), 0.0)
-        if wish <= 0.0 and keep <= 0.0 and not soft:
+        if wish <= 0.0 and keep <= 0.0 and hold <= 0.0 and not soft:
             return Grant(0, 0.0, 0.0, self.aim - self.granted(), len(self.held))
         spare = max(self.aim - self.granted(), 0.0)
         fair = self.fair(who, wish, soft)
@@ -117,7 +129,7 @@
         part = max(min(most, spare), min(keep, had))
         if self.step:
             part = int(part / self.step + EDGE) * self.step
-        fair_cap = self.depth / (len(self.held) + 1)
+        fair_cap = self._fair_cap(wish)
         grow = max(fair_cap - hold, 0.0)
         given = min(self.free, need + grow)
         slack = max(self.depth - self._caps() - hold - self.free, 0.0)
@@ -129,7 +141,15 @@
                     and self._caps() + self.free <= max(self.depth, deep) + 1e-6,
                     lambda: f"{self.granted():g} of {self.aim:g}, depth {self._caps():g} and {self.free:g} of "
                             f"{self.depth:g} granted to {len(self.held)}")
-        return Grant(self.last, part, given, self.aim - self.granted(), len(self.held), cap, fair, fair_cap)
+        return Grant(self.last, part, given, self.aim - self.granted(), len(self.held), cap, fair, fair_cap,
+                     max(most, part - self._lack(who, wish)), self._lack(who, 0.0))
+
+    def _lack(self, who: Id, wish: float) -> float:
+        """What others have less than is due to their wishes beside this one."""
+        others = [one for other, one in self.held.items() if other != who]
+        total = wish + sum(one.wish for one in others)
+        scale = min(self.aim / total, 1.0) if total > 0.0 else 0.0
+        return sum(max(one.wish * scale - one.part, 0.0) for one in others)
 
     def fair(self, who: Id, wish: float, soft: bool = False) -> float:
         """What one wish comes to beside those of all other holders; with what no wish needs where it is soft."""
@@ -150,6 +170,11 @@
             left, count = left - one, count - 1
         return wish
 
+    def _fair_cap(self, wish: float) -> float:
+        """An even part of `STANDBY` of the depth, for when traffic comes up, and by wishes of the rest."""
+        count, total = len(self.held) + 1, wish + sum(one.wish for one in self.held.values())
+        return self.depth * (STANDBY / count + (1.0 - STANDBY) * (wish / total if total > 0.0 else 1.0 / count))
+
     def excess(self, who: Id) -> float:
         """By how much a holder is above its fair part while others have less than theirs: it should give that back."""
         mine = self.held[who]
@@ -178,11 +203,11 @@
 
     def dump(self) -> Any:
         """Plain data."""
-        return [self.aim, self.depth, self.step, self.last, self.free, self.even,
+        return [self.aim, self.depth, self.step, self.last, self.free, self.even, self.at_ms,
                 [[who, one.number, one.part, one.wish, one.cap, one.soft] for who, one in self.held.items()]]
 
     @classmethod
     def load(cls, raw: Any) -> Divided:
         """From `dump`; what is held counts as seen when it is next looked at."""
-        aim, depth, step, last, free, even, held = raw
-        return cls(aim, depth, step, {who: Held(*rest) for who, *rest in held}, last, free, even)
+        aim, depth, step, last, free, even, at_ms, held = raw
+        return cls(aim, depth, step, {who: Held(*rest) for who, *rest in held}, last, free, even, at_ms)
