Let a roll see which copies of every group are behind, not of those led here alone

The leader of the fleet's group judged copies of groups led elsewhere by who is alive. It now goes by what each group's leader has reported, and by its own replicas where it leads.

--- a/fleet/node.py
+++ b/fleet/node.py
@@ -453,7 +453,10 @@
             parts = self.states[FLEET].parts
             places = parts["placing"]
             load = {**load, "promised": parts["contracts"].promised(wall, wall + parts["rolls"].horizon_ms())}
-        behind = {group: made.behind() for group, made in self.replicas.items() if made.leading}
+        behind = {group: held.behind for group, held in places.groups.items() if held.behind}  # as leaders reported it
+        for group, made in self.replicas.items():
+            if made.leading:
+                behind[group] = made.behind() + self._late(now, group, made)
         return View(now, wall, self.me, replica.lead_since, self._timings, self.membership.alive(),
                     self.membership.dead_for(now), self._halls, load, places.voters() or self._placed, behind)
 
