Test contracts over lost messages, frozen gateways and moving traffic, with six planted faults

Admission, the dividing of a whole and the gateway's side are driven at random; the referee looks at what gateways believe that they may use, in true time, with clocks at both ends of the stated drift. Six faults put in by the test are found by name. A call without an answer is made again after 300 ms, idle parts are looked at often enough to be lent at once, and a window's leases end before the next one is admitted.

--- a/fleet/contracts.py
+++ b/fleet/contracts.py
@@ -675,7 +675,8 @@
             if one.cancelled:
                 return E.SETTLE if one.told == one.newest.number else None
             if now is not None:
-                return E.AGAIN
+                last = times[turn - 1][1] + self.tail if turn else at_ms  # until its last lease is over
+                return E.AGAIN if at_ms >= min(last, now[0] - EARLY_MS) else None
             if len(one.versions) == 1 and at_ms >= (times[-1][1] if times else 0.0) + self.tail:
                 return E.SETTLE
         return None
--- a/fleet/floor.py
+++ b/fleet/floor.py
@@ -38,6 +38,7 @@
 LACKS_MS = 20.0
 RETRY_MS = 50.0  # after a call without an outcome, doubled up to RETRY_MOST_MS
 RETRY_MOST_MS = 400.0
+REPEAT_MS = 300.0  # without any answer: the same call again, which is harmless
 REPORT_MS = 1000.0  # between two reports of units short
 FAST_MS, SLOW_MS = 150.0, 1000.0  # averages of what is asked for
 QUIET_GAPS, GONE_GAPS = 3.0, 6.0  # mean gaps between requests after which it looks, and after which it gives up
@@ -274,7 +275,7 @@
         if one.out is not None:
             if now < one.again:
                 return None
-            one.again = math.inf
+            one.again = now + REPEAT_MS
             return one.out
         one.fill(now, wall)
         times = one.times(wall)
@@ -288,7 +289,8 @@
         gone = quiet >= REST_MS or (one.demand.gone(now) and (one.lack > EDGE or one.wish <= 0.0))
         wish = min(queued if gone else max(one.demand.rate(now), queued), rate)
         others = one.holders > 1 or one.number == 0
-        regular = BUSY_MS if others and (one.part > EDGE or wish > 0.0) else self._timings.lease_ms / 3.0
+        uses = max(one.part, wish, one.fair) > EDGE
+        regular = BUSY_MS if others and uses else self._timings.lease_ms / 3.0
         turned = one.until_ms == math.inf and one.number != 0  # its version or window has turned
         above = one.part - one.most if wish > 0.0 else min(one.part, one.lack)
         moving = now < one.moved + LOOK_MS and wish * (1.0 - SLIGHT) > one.part
@@ -310,7 +312,7 @@
         one.part, one.cap, one.level = keep, hold, one.level - room
         changed = not one.wish <= 2.0 * wish <= 4.0 * one.wish
         one.pause = URGENT_MS if changed or not urgent else min(1.5 * one.pause, LACKS_MS)
-        one.wish, one.sent, one.asked = wish, now, now
+        one.wish, one.sent, one.asked, one.again = wish, now, now, now + REPEAT_MS
         # Units that nobody holds are for those that wait for traffic, or for their part.
         idle = wish <= 0.0 or one.lacks(wish) or one.holders < 2 or now < one.moved + LOOK_MS
         need = max(hold - one.level, 0.0) if idle else 0.0
@@ -439,7 +441,8 @@
         for one in self.stakes.values():
             if now + self._ahead >= one.from_ms:
                 one.fill(now, now + self._ahead)
-                idle += max(one.part - (0.0 if one.demand.gone(now) else one.demand.rate(now)), 0.0)
+                if not one.waiting:
+                    idle += max(one.part - (0.0 if one.demand.gone(now) else one.demand.rate(now)), 0.0)
         return idle
 
     def held(self, now: float) -> float:
--- /dev/null
+++ b/tests/test_fleet_contracts.py
@@ -0,0 +1,636 @@
+"""Contracts: admission over time, parts that sum to at most the whole whatever is lost, and a floor that moves.
+
+`Town` plays one tenant's contract in true time: gateways with clocks of their own, a channel that delays, loses and
+repeats, holders that freeze, two copies of the tenant's group of which either may lead.  Its referee looks at what
+gateways believe that they may use, never at what the groups say.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import math
+from collections.abc import Callable, Iterator
+from dataclasses import replace
+from random import Random
+from typing import Any
+
+import msgspec
+import pytest
+from hypothesis import HealthCheck, Phase, given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from fleet import contracts, floor, leases
+from fleet.contracts import (
+    CancelContract,
+    Capacity,
+    Change,
+    Contracts,
+    ContractsRead,
+    Floors,
+    Lease,
+    Open,
+    Pass,
+    Propose,
+    Short,
+    Terms,
+    Told,
+    Window,
+)
+from fleet.errors import BadCall, FleetError, LeaseOver, NoRoom, NotThere, UnknownOutcome, WrongState
+from fleet.floor import Floor
+from fleet.invariants import Broken, Invariants, Rule
+from fleet.leases import Divided, Grant
+from fleet.part import Applied, Command, View
+from fleet.share import Claim, Share, split
+from fleet.timings import Timings
+
+T = Timings()
+TAIL = T.outlast()
+QUICK = settings(max_examples=30, deadline=None, derandomize=True, suppress_health_check=list(HealthCheck))
+
+
+def terms(rate: float, begin: float, end: float, tenant: str = "dealer", **more: Any) -> Terms:
+    window = Window(begin, end, more.pop("every_ms", 0.0), more.pop("until_ms", 0.0))
+    return Terms(tenant=tenant, customers=(1, 2), rate=rate, burst=more.pop("burst", 30.0), windows=(window,), **more)
+
+
+def made(units: float = 100.0, reserve: float = 0.0, others: float = 0.0) -> Contracts:
+    part = Contracts(T, Invariants())
+    assert part.apply(0.0, Capacity(id="c", units=units, reserve=reserve, floor=others)).error is None
+    return part
+
+
+def propose(part: Contracts, at: float, name: str, asked: Terms) -> Applied:
+    return part.apply(at, Propose(id=name, contract=name, terms=asked))
+
+
+def look(now: float) -> View:
+    return View(now, now, "m/1", 0.0, T, frozenset(), {}, {}, {}, {}, {})
+
+
+def again(part: Any) -> Any:
+    """The same part from its snapshot."""
+    other, kept = type(part)(T, Invariants()), msgspec.msgpack.encode(part.dump())
+    other.load(msgspec.msgpack.decode(kept))
+    assert msgspec.msgpack.decode(msgspec.msgpack.encode(other.dump())) == msgspec.msgpack.decode(kept)
+    return other
+
+
+# Admission -----------------------------------------------------------------------------------------------------------
+
+
+def test_what_does_not_fit_is_refused_with_what_would_and_when() -> None:
+    part = made(100.0, reserve=0.2, others=10.0)  # 70 may be promised
+    assert propose(part, 1.0, "a", terms(60.0, 10_000.0, 20_000.0)).error is None
+    refused = propose(part, 1.0, "b", terms(40.0, 15_000.0, 30_000.0)).error
+    assert isinstance(refused, NoRoom) and refused.fits == pytest.approx(10.0)
+    assert refused.fits_from_ms == pytest.approx(20_000.0 + TAIL)  # a lease may outlast its window so long
+    assert propose(part, 1.0, "b", terms(10.0, 15_000.0, 30_000.0)).error is None
+    never = propose(part, 1.0, "c", terms(71.0, 15_000.0, 30_000.0)).error
+    assert isinstance(never, NoRoom) and never.fits_from_ms == 0.0
+    # Every day for three days, of which the second is taken by another.
+    assert propose(part, 1.0, "d", terms(60.0, 100_000.0, 110_000.0)).error is None
+    daily = terms(20.0, 60_000.0, 70_000.0, every_ms=40_000.0, until_ms=150_000.0)
+    assert isinstance(propose(part, 1.0, "e", daily).error, NoRoom)
+
+
+@pytest.mark.parametrize(("asked", "key"), [
+    (terms(0.0, 10.0, 20.0), "rate"), (terms(math.nan, 10.0, 20.0), "rate"), (terms(1.0, 20.0, 10.0), "windows"),
+    (terms(1.0, 1.0, 9.0), "windows"), (terms(1.0, 10.0, 20.0, burst=-1.0), "burst"),
+    (terms(1.0, 10.0, 20.0, tenant="no name"), "tenant"), (terms(1.0, 10.0, 20.0, rank=0), "rank"),
+    (terms(1.0, 10.0, 20.0, every_ms=5.0, until_ms=90.0), "windows"),
+    (terms(1.0, 10.0, 20.0, every_ms=20.0, until_ms=1e9), "windows")])
+def test_what_is_wrong_is_named_and_changes_nothing(asked: Terms, key: str) -> None:
+    part = made()
+    before = part.dump()
+    error = propose(part, 5.0, "a", asked).error
+    assert isinstance(error, BadCall) and key in error.what and part.dump() == before
+
+
+def test_a_contract_goes_its_way_and_a_window_comes_again() -> None:
+    part, groups = made(), Floors(T, Invariants())
+    assert propose(part, 1.0, "a", terms(60.0, 20_000.0, 30_000.0, every_ms=60_000.0, until_ms=100_000.0)).error is None
+    seen: list[str] = []
+    for at in range(0, 130_000, 500):
+        for command in part.work(look(at)) + groups.work(look(at)):
+            (part if command.key() == "" else groups).apply(at, command)
+        if at == 22_000:
+            for units in (3.0, 3.0, 5.0):
+                part.apply(at, Short(id="s", contract="a", by="g", cause="load", units=units, since_ms=21_000.0))
+        state = part.held["a"].state.value
+        if not seen or seen[-1] != state:
+            seen.append(state)
+    assert seen == ["admitted", "armed", "active", "breached", "active", "closing", "admitted", "armed", "active",
+                    "closing", "settled"]
+    facts = part.look(ContractsRead(id="r")).value["contracts"]["a"]
+    assert facts["short"] == {"load": 5.0} and facts["since_ms"] == 21_000.0  # totals: a repeat adds nothing
+    assert again(part).look(ContractsRead(id="r")).value["contracts"]["a"] == facts
+
+
+def test_a_cancelled_one_frees_its_room_when_the_tenants_group_has_told() -> None:
+    part = made()
+    propose(part, 0.0, "a", terms(100.0, 1_000.0, 90_000.0))
+    (opened,) = [one for one in part.work(look(0.0)) if isinstance(one, Open)]
+    part.apply(10.0, Told(id="t", contract="a", version=opened.version))
+    assert part.apply(20_000.0, CancelContract(id="x", contract="a")).error is None
+    assert isinstance(part.apply(20_000.0, CancelContract(id="y", contract="a")).error, WrongState)
+    late = terms(50.0, 60_000.0, 70_000.0)
+    assert isinstance(propose(part, 50_000.0, "b", late).error, NoRoom)
+    last = part.held["a"].newest.number
+    part.apply(50_000.0, Told(id="u", contract="a", version=last))
+    assert propose(part, 50_001.0, "b", late).error is None and part.held["a"].state.value == "settled"
+    soon = part.apply(50_002.0, Change(id="z", contract="b", terms=late, holds_from_ms=50_002.0 + TAIL)).error
+    assert isinstance(soon, BadCall) and "holds_from_ms" in soon.what
+    assert isinstance(part.apply(50_002.0, CancelContract(id="x", contract="no")).error, NotThere)
+
+
+def test_less_capacity_takes_nothing_back_and_admits_nothing() -> None:
+    part = made()
+    propose(part, 0.0, "a", terms(90.0, 1_000.0, 90_000.0))
+    told = part.apply(1.0, Capacity(id="d", units=50.0, reserve=0.0, floor=0.0))
+    assert told.value == {"available": 50.0, "over": 40.0}
+    assert isinstance(propose(part, 2.0, "b", terms(1.0, 1_000.0, 2_000.0)).error, NoRoom)
+    less = terms(40.0, 1_000.0, 90_000.0)
+    assert part.apply(3.0, Change(id="e", contract="a", terms=less, holds_from_ms=20_000.0)).error is None
+
+
+@QUICK
+@given(st.lists(st.tuples(st.floats(1.0, 60.0), st.integers(0, 50), st.integers(1, 30), st.integers(0, 3)), max_size=14))
+def test_admitted_windows_never_pass_the_capacity(asked: list[tuple[float, int, int, int]]) -> None:
+    part = made(100.0)
+    held: list[tuple[float, float, float]] = []
+    for number, (rate, begin, length, turns) in enumerate(asked):
+        every = (length + begin + 3) * 1e3 if turns else 0.0
+        one = terms(rate, begin * 1e3, (begin + length) * 1e3, tenant=f"t{number}", every_ms=every,
+                    until_ms=begin * 1e3 + every * turns + 1.0 if turns else 0.0)
+        got = propose(part, 0.0, str(number), one).error
+        if isinstance(got, NoRoom) and got.fits > 1.0:  # what it says would fit does
+            one = replace_rate(one, got.fits * 0.999)
+            got = propose(part, 0.0, f"{number}b", one).error
+            assert got is None
+        if got is None:
+            held += [(begin, end + TAIL, one.rate) for begin, end in contracts.spans(one.windows)]
+    for at in {begin for begin, _, _ in held}:
+        assert sum(rate for begin, end, rate in held if begin <= at < end) <= 100.0 + 1e-6
+
+
+def replace_rate(one: Terms, rate: float) -> Terms:
+    return msgspec.structs.replace(one, rate=rate)
+
+
+# A whole and its parts -----------------------------------------------------------------------------------------------
+
+
+class Parts(RuleBasedStateMachine):
+    """Holders that ask, forget, repeat and end in any order: parts within the whole, units never from nothing."""
+
+    @initialize(whole=st.sampled_from([60.0, 7.0]), depth=st.sampled_from([0.0, 30.0]), step=st.sampled_from([0.0, 1.0]))
+    def begin(self, whole: float, depth: float, step: float) -> None:
+        self.checks = Invariants()
+        self.one = Divided(whole, depth, step, even=step > 0)
+        self.mine: dict[str, tuple[int, float, float, float]] = {}  # number, part, cap, units in the bucket
+        self.was = depth
+
+    @rule(who=st.sampled_from("abcd"), keep=st.floats(0, 1), wish=st.floats(0, 80), hold=st.floats(0, 1),
+          used=st.floats(0, 1), soft=st.booleans(), stale=st.booleans())
+    def ask(self, who: str, keep: float, wish: float, hold: float, used: float, soft: bool, stale: bool) -> None:
+        number, part, cap, level = self.mine.get(who, (0, 0.0, 0.0, 0.0))
+        self.was -= level * (1.0 - used) if not stale else 0.0
+        level *= used
+        holds = cap * hold
+        room = max(level - holds, 0.0)
+        if stale:
+            assert isinstance(self.one.ask(who, number + 1, 0.0, wish, 0.0, self.checks), LeaseOver)
+            return
+        keeps = float(int(part * keep)) if self.one.step else part * keep
+        got = self.one.ask(who, number, keeps, wish, room, self.checks, holds, max(holds - level, 0.0), soft)
+        assert isinstance(got, Grant)
+        assert got.part >= keeps - 1e-9 and got.cap >= min(holds, level - room) - 1e-9
+        if got.number:
+            self.mine[who] = got.number, got.part, got.cap, level - room + got.room
+            assert self.mine[who][3] <= got.cap + 1e-6
+        else:
+            self.mine.pop(who, None)
+
+    @precondition(lambda self: self.mine)
+    @rule(pick=st.integers(0, 3), again=st.booleans())
+    def end(self, pick: int, again: bool) -> None:
+        who = sorted(self.mine)[pick % len(self.mine)]
+        number = self.mine.pop(who)[0]
+        assert self.one.end(who, number) and not self.one.end(who, number)
+
+    @rule(whole=st.floats(1.0, 80.0))
+    def resize(self, whole: float) -> None:
+        self.one.resize(float(int(whole)) if self.one.step else whole, self.one.depth)
+
+    @rule()
+    def restart(self) -> None:
+        self.one = Divided.load(msgspec.msgpack.decode(msgspec.msgpack.encode(self.one.dump())))
+
+    @invariant()
+    def holds(self) -> None:
+        if not hasattr(self, "one"):
+            return
+        assert sum(part for _, part, _, _ in self.mine.values()) <= self.one.whole + 1e-6
+        units = self.one.free + sum(level for *_, level in self.mine.values())
+        if units > self.was + 1e-6:
+            raise Broken(Rule.PARTS_IN_WHOLE, f"{units:g} units where there were {self.was:g}")
+        self.was = units
+        assert self.one.free + sum(cap for _, _, cap, _ in self.mine.values()) <= self.one.depth + 1e-6
+
+
+Parts.TestCase.settings = settings(QUICK, max_examples=80, stateful_step_count=40)
+TestParts = Parts.TestCase
+
+
+def test_where_wishes_pass_the_whole_parts_are_even_or_in_proportion() -> None:
+    even, rates = Divided(12.0, step=1.0), Divided(12.0, even=False)
+    for one in (even, rates):
+        for who, wish in (("a", 20.0), ("b", 2.0), ("c", 10.0)):
+            one.ask(who, 0, 0.0, wish, 0.0, Invariants())
+    assert [even.fair(who, wish) for who, wish in (("a", 20.0), ("b", 2.0), ("c", 10.0))] == [5.0, 2.0, 5.0]
+    assert [rates.fair(who, wish) for who, wish in (("a", 20.0), ("b", 2.0))] == [7.5, 0.75]
+    assert even.excess("a") == 7.0
+    even.seen(5.0)
+    assert even.over(4.0 + TAIL, TAIL, 0.0) == [] and len(even.over(5.0 + TAIL, TAIL, 0.0)) == 3
+
+
+# A town of gateways --------------------------------------------------------------------------------------------------
+
+
+class Town:
+    """See the module.  `drift`: every clock's rate lies within it; the leader's is the fastest, gateways' are drawn."""
+
+    def __init__(self, seed: int, rate: float = 60.0, burst: float = 30.0, length: float = 30_000.0,
+                 rough: bool = False) -> None:
+        self.draw, self.t, self.queue, self.count = Random(seed), 0.0, [], itertools.count()
+        self.rough, self.rate, self.burst = rough, rate, burst
+        self.begin, self.end = 3000.0, 3000.0 + length
+        self.rules = Invariants()
+        self.part = made(300.0)
+        self.copies = [Floors(T, self.rules), Floors(T, self.rules)]
+        self.lead = 0
+        drift = T.clock_drift if rough else 0.0
+        self.fast = 1.0 + drift
+        self.clocks = [(self.draw.uniform(0.0, 1e5), self.draw.choice([1 - drift, 1.0, 1 + drift])) for _ in range(5)]
+        self.floors = [Floor(f"g{n}/1", "p", T) for n in range(5)]
+        self.frozen, self.cut = [0.0] * 5, [0.0] * 5  # until when
+        self.drawn = [0.0, 0.0]  # the referee's bucket: level, and as of when
+        self.most = 0.0
+        assert propose(self.part, 0.0, "p", terms(rate, self.begin, self.end, burst=burst)).error is None
+        for n in range(5):
+            self.every(5.0, lambda n=n: self.poll(n))  # type: ignore[misc]
+        self.every(100.0, self.work)
+        self.every(10.0, self.referee)
+        if rough:
+            self.every(700.0, self.disturb)
+
+    queue: list[tuple[float, int, Callable[[], None]]]
+
+    def at(self, when: float, do: Callable[[], None]) -> None:
+        heapq.heappush(self.queue, (when, next(self.count), do))
+
+    def every(self, pause: float, do: Callable[[], object]) -> None:
+        def turn() -> None:
+            do()
+            self.at(self.t + pause, turn)
+        self.at(self.draw.uniform(0.0, pause), turn)
+
+    def run(self, until: float) -> None:
+        while self.queue[0][0] <= until:
+            self.t, _, do = heapq.heappop(self.queue)
+            do()
+        self.t = until
+
+    def now(self, n: int) -> float:
+        return self.clocks[n][0] + self.t * self.clocks[n][1]
+
+    def poll(self, n: int) -> None:
+        if self.t >= self.frozen[n]:
+            for command in self.floors[n].poll(self.now(n), self.t):
+                self.call(n, command)
+
+    def call(self, n: int, command: Command) -> None:
+        def lost() -> bool:
+            return self.rough and (self.t < self.cut[n] or self.draw.random() < 0.1)
+
+        def wire() -> float:
+            return self.draw.uniform(1.0, 4.0) if not self.rough else self.draw.choice([2.0, 5.0, 30.0, 400.0])
+
+        def done(result: Applied | FleetError) -> None:
+            if self.t < self.frozen[n]:
+                self.at(self.frozen[n], lambda: done(result))
+            else:
+                self.floors[n].answered(self.now(n), command, result)
+
+        def arrive() -> None:
+            result = self.apply(command)
+            if lost():
+                self.at(self.t + T.call_ms, lambda: done(UnknownOutcome("g", "lost")))
+            else:
+                self.at(self.t + wire(), lambda: done(result))
+                if self.rough and self.draw.random() < 0.1:
+                    self.at(self.t + wire(), lambda: done(result))
+        if lost():
+            self.at(self.t + T.call_ms, lambda: done(UnknownOutcome("g", "lost")))
+        else:
+            self.at(self.t + wire(), arrive)
+
+    def apply(self, command: Command) -> Applied:
+        if command.key() == "":
+            return self.part.look(command) if command.reads else self.part.apply(self.t, command)
+        results = [copy.apply(self.t, command) for copy in self.copies]
+        assert results[0] == results[1]
+        self.copies[self.lead].seen(self.t * self.fast)
+        late = self.copies[1 - self.lead]
+        self.at(self.t + self.draw.uniform(0.0, 150.0), lambda: late.seen(self.t * self.fast))
+        return results[0]
+
+    def work(self) -> None:
+        view = replace(look(self.t), now=self.t * self.fast)
+        for command in self.part.work(view) + self.copies[self.lead].work(view):
+            self.apply(command)
+
+    def disturb(self) -> None:
+        n, kind = self.draw.randrange(5), self.draw.choice(["cut", "freeze", "lead", "none"])
+        if kind == "cut":
+            self.cut[n] = self.t + self.draw.choice([500.0, 4000.0])
+        elif kind == "freeze":
+            self.frozen[n] = self.t + self.draw.choice([300.0, 1900.0, 4000.0])
+        elif kind == "lead":
+            self.lead = 1 - self.lead
+            self.copies[self.lead].seen(self.t * self.fast)
+
+    def referee(self) -> None:
+        held = sum(one.held(self.now(n)) for n, one in enumerate(self.floors) if self.t >= self.frozen[n])
+        self.most = max(self.most, held)
+        if held > self.rate + 1e-6:
+            raise Broken(Rule.LEASE_ONCE, f"{held:g} of {self.rate:g} in use at {self.t:g}")
+
+    def ask(self, n: int, units: float = 1.0) -> bool:
+        """One request of the tenant at a gateway; whether it was served at once."""
+        if self.t < self.frozen[n]:
+            return False
+        got = self.floors[n].take(self.now(n), 1, units)
+        if got is not None:
+            self.served(units)
+        return got is not None
+
+    def served(self, units: float) -> None:
+        level, since = self.drawn
+        rate = self.rate * (1.0 + T.clock_drift) / 1000.0
+        self.drawn = [max(level - (self.t - since) * rate, 0.0) + units, self.t]
+        if self.drawn[0] > self.burst + 1.0 + 1e-6:
+            raise Broken(Rule.PARTS_IN_WHOLE, f"{self.drawn[0]:g} units above the rate, {self.burst:g} may be")
+
+
+def rough_days(seeds: range) -> None:
+    """Traffic at twice the rate that moves, over all that a channel and clocks may do."""
+    for seed in seeds:
+        town = Town(seed, length=22_000.0, rough=True)
+
+        def tenant(town: Town = town) -> None:
+            busy = [int(town.t // 2500) % 5, int(town.t // 4000) % 5]
+            town.ask(town.draw.choice(busy), town.draw.choice([0.5, 1.0, 2.0]))
+        town.every(9.0, tenant)
+        town.run(25_000.0)
+        assert town.most > 50.0  # something was held at all
+
+
+def test_whatever_is_lost_parts_sum_to_at_most_the_contract() -> None:
+    rough_days(range(6))
+
+
+def no_margin(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Timings, "outlast", lambda self: self.lease_ms * 0.98)
+
+
+def from_the_answer(patch: pytest.MonkeyPatch) -> None:
+    real = Floor._answered
+
+    def answered(self: Floor, now: float, one: Any, error: Any, value: Any) -> None:
+        one.asked = now
+        real(self, now, one, error, value)
+    patch.setattr(Floor, "_answered", answered)
+
+
+def grows_first(patch: pytest.MonkeyPatch) -> None:
+    real = Floor._ask
+
+    def ask(self: Floor, now: float, one: Any, *more: Any) -> Lease:
+        part = one.part
+        made = real(self, now, one, *more)
+        one.part = part  # it has not shrunk before it says so
+        return made
+    patch.setattr(Floor, "_ask", ask)
+
+
+def twice(patch: pytest.MonkeyPatch) -> None:
+    real = Divided.ask
+
+    def ask(self: Divided, who: str, number: int, keep: float, wish: float, room: float, *more: Any) -> Any:
+        if room > 0.0 and number == getattr(self.held.get(who), "number", 0):
+            self.free += room
+        return real(self, who, number, keep, wish, room, *more)
+    patch.setattr(Divided, "ask", ask)
+
+
+def unseen(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Divided, "over", lambda self, now, outlast, since: [
+        (who, one.number) for who, one in self.held.items() if one.seen == math.inf or now - one.seen >= outlast])
+    patch.setattr(Floors, "seen", lambda self, now: None)
+
+
+def freed_early(patch: pytest.MonkeyPatch) -> None:
+    real = Contracts._change
+
+    def change(self: Contracts, at_ms: float, name: str, *more: Any) -> Applied:
+        result = real(self, at_ms, name, *more)
+        if result.error is None:
+            del self.held[name].versions[0]
+        return result
+    patch.setattr(Contracts, "_change", change)
+
+
+def units_days(seeds: range) -> None:
+    run_state_machine_as_test(Parts, settings=settings(QUICK, max_examples=len(seeds) * 10, phases=[Phase.generate]))
+
+
+def changed_days(seeds: range) -> None:
+    """Contracts proposed, changed and cancelled at random; Opens and Tolds late; holders that use all they may."""
+    for seed in seeds:
+        draw, part, groups = Random(seed), made(100.0), Floors(T, Invariants())
+        uses: dict[tuple[str, str], list[float]] = {}  # contract, holder: number, part, ends, until, then
+        post: list[tuple[float, Command]] = []
+        for at in range(0, 60_000, 100):
+            act, name = draw.random(), f"c{draw.randrange(4)}"
+            if act < 0.05:
+                begin = at + draw.choice([0, 3000, 9000])
+                one = terms(draw.choice([30.0, 50.0, 100.0]), begin, begin + draw.choice([5000, 20_000]))
+                propose(part, at, name, one)
+            elif act < 0.08 and name in part.held:
+                now = part.held[name].newest.terms
+                part.apply(at, Change(id=f"h{at}", contract=name, holds_from_ms=at + 2 * TAIL + draw.choice([1, 3000]),
+                                      terms=replace_rate(now, draw.choice([20.0, 40.0, 80.0]))))
+            elif act < 0.1 and name in part.held:
+                part.apply(at, CancelContract(id=f"x{at}", contract=name))
+            post += [(at + draw.choice([0, 100, 1000]), one) for one in part.work(look(at)) + groups.work(look(at))]
+            for command in [sent for when, sent in post if when <= at]:
+                (part if command.key() == "" else groups).apply(at, command)
+            groups.seen(at)
+            post = [sent for sent in post if sent[0] > at]
+            for contract in list(groups.held):
+                for who in ("g", "h"):
+                    use = uses.setdefault((contract, who), [0, 0.0, 0.0, 0.0, 0.0])
+                    if draw.random() < 0.2:
+                        keep = now_used(use, at)
+                        got = groups.apply(at, Lease(id=f"{at}{who}", tenant="dealer", contract=contract, holder=who,
+                                                     number=int(use[0]), keep=keep, wish=100.0, room=0.0))
+                        fact = got.value
+                        use[:] = ([fact["number"], fact["part"], at + T.lease_ms, fact["until_ms"], fact["then"]]
+                                  if got.error is None else [0, 0.0, 0.0, 0.0, 0.0])
+            total = sum(now_used(use, at) for use in uses.values())
+            if total > 100.0 + 1e-6:
+                raise Broken(Rule.CONTRACTS_FIT, f"{total:g} of 100 in use at {at}")
+            if draw.random() < 0.01:
+                part, groups = again(part), again(groups)
+
+
+def now_used(use: list[float], at: float) -> float:
+    _, part, ends, until, then = use
+    return 0.0 if at >= ends else part if at < until else part * then
+
+
+def test_any_order_of_changes_keeps_what_is_used_within_the_capacity() -> None:
+    changed_days(range(12))
+
+
+@pytest.mark.parametrize(("fault", "days", "found"), [
+    (no_margin, rough_days, {Rule.LEASE_ONCE}), (from_the_answer, rough_days, {Rule.LEASE_ONCE}),
+    (grows_first, rough_days, {Rule.LEASE_ONCE}), (unseen, rough_days, {Rule.LEASE_ONCE}),
+    (twice, units_days, {Rule.PARTS_IN_WHOLE}), (freed_early, changed_days, {Rule.CONTRACTS_FIT})])
+def test_a_planted_fault_is_found_by_name(monkeypatch: pytest.MonkeyPatch, fault: Callable[[pytest.MonkeyPatch], None],
+                                          days: Callable[[range], None], found: set[Rule]) -> None:
+    fault(monkeypatch)
+    with pytest.raises(Broken) as caught:
+        days(range(12))
+    assert caught.value.rule in found
+
+
+# The promise itself --------------------------------------------------------------------------------------------------
+
+
+def test_the_floor_moves_with_the_traffic_and_idle_capacity_is_lent() -> None:
+    """The tenant asks for twice its rate at one gateway of five, another every 8 s, and rests from 19 to 27 s; others
+    ask at each gateway for five times what is left to them."""
+    town = Town(3, length=40_000.0)
+    left, rest = 300.0 - 60.0, (19_000.0, 27_000.0)
+    asked, served, used, lent = [0] * 450, [0] * 450, [0.0] * 450, [0.0] * 450
+    room = [0.0] * 5
+
+    def slot() -> int:
+        return int(town.t // 100)
+
+    def tenant() -> None:
+        if town.begin <= town.t < town.end and not rest[0] <= town.t < rest[1]:
+            where = int(town.t // 8000) % 5
+            asked[slot()] += 1
+            if town.ask(where):
+                served[slot()] += 1
+            else:
+                town.floors[where].wait(town.now(where), 1, 1.0, None)
+
+    def turns() -> None:
+        for n, one in enumerate(town.floors):
+            got = [won for _, won in one.turns(town.now(n)) if won is not None]
+            for won in got:
+                town.served(won.units)
+            served[slot()] += len(got)
+
+    def others() -> None:
+        for n, one in enumerate(town.floors):
+            idle = one.lend(town.now(n))
+            lent[slot()] += idle / 20.0
+            room[n] = min(room[n] + (left / 5 + idle) * 0.005, 5.0)
+            sent = min(room[n], 5 * left / 5 * 0.005)
+            room[n] -= sent
+            used[slot()] += sent
+
+    town.every(1000.0 / 120.0, tenant)
+    town.every(2.0, turns)
+    town.every(5.0, others)
+    town.run(town.end)
+    seconds = [n for n in range(30, 420) if all(asked[n:n + 10]) and sum(asked[n:n + 10]) >= 60
+               and not rest[1] // 100 - 10 < n < rest[1] // 100 + 3]
+    floor_kept = min(sum(served[n:n + 10]) for n in seconds) / 60.0
+    assert len(seconds) > 200 and floor_kept >= 0.98
+    assert town.most <= 60.0 + 1e-6  # the contract is never passed
+    quiet = range(int(rest[0] // 100) + 1, int(rest[1] // 100))
+    assert sum(used[n] for n in quiet) >= 0.95 * 30.0 * len(quiet)  # all that others may use, with what is lent
+    back = [n for n in range(int(rest[1] // 100) + 1, 300) if lent[n] > 0.05 * 60.0]
+    assert max(back, default=0) <= int((rest[1] + 250.0) // 100)
+    assert sum(sum(one.short.values()) for gate in town.floors for one in gate.stakes.values()) <= 0.02 * sum(served)
+
+
+def test_a_gateway_that_cannot_renew_stops_and_counts_what_it_owes() -> None:
+    town = Town(5, length=20_000.0)
+    town.every(1000.0 / 60.0, lambda: town.ask(2) or town.floors[2].wait(town.now(2), 1, 1.0, None))
+    town.every(20.0, lambda: town.floors[2].turns(town.now(2)))
+    town.run(6000.0)
+    town.call = lambda n, command: None  # type: ignore[method-assign]
+    assert town.floors[2].held(town.now(2)) > 50.0
+    town.run(6000.0 + T.lease_ms + 1.0)
+    assert town.floors[2].held(town.now(2)) == 0.0 and not town.ask(2)
+    town.run(10_000.0)
+    short = town.floors[2].stakes["p"].short
+    assert short.keys() == {floor.NO_LEASE} and 0.9 * 2.0 * 60 <= short[floor.NO_LEASE] <= 1.01 * 2.1 * 60
+
+
+def test_units_drawn_and_not_served_are_reported_once() -> None:
+    town = Town(7, length=20_000.0)
+    town.run(5000.0)
+    got = town.floors[1].take(town.now(1), 2, 2.0)
+    assert got is not None and town.floors[1].take(town.now(1), 3, 1.0) is None  # not a customer of the tenant
+    town.floors[1].failed(town.now(1), got, "load")
+    town.run(9000.0)
+    assert town.part.held["p"].short == {"load": {"g1/1#p": 2.0}}
+    assert town.part.apply(town.t, Pass(id="p")).error is None
+
+
+def claims() -> Iterator[Claim]:
+    yield Claim("vital", 1, 30.0, 40.0)
+    yield Claim("one", 2, 60.0, 40.0)
+    yield Claim("two", 2, 20.0, 20.0)
+
+
+@pytest.mark.parametrize(("capacity", "kept"), [
+    (100.0, (30.0, 40.0, 20.0, 10.0)), (60.0, (30.0, 20.0, 10.0, 0.0)), (15.0, (15.0, 0.0, 0.0, 0.0)),
+    (-1.0, (0.0, 0.0, 0.0, 0.0))])
+def test_what_falls_short_goes_by_class_and_evenly_within(capacity: float, kept: tuple[float, ...]) -> None:
+    got = split(capacity, claims())
+    assert (*got.contracts.values(), got.others) == pytest.approx(kept)
+    assert sum(got.short.values()) == pytest.approx(90.0 - sum(kept[:3]))
+    share = Share()
+    share.set(0.0, capacity, claims())
+    sent = dict.fromkeys(("vital", "one", "two", ""), 0.0)
+    for tick in range(10_000):
+        for name in sent:
+            sent[name] += share.may(float(tick), name, 0.5) * 0.5
+    assert list(sent.values()) == pytest.approx([10 * one for one in kept], rel=0.06, abs=1.0)
+
+
+def test_the_leases_module_is_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(leases, "MOST_HOLDERS", 16)
+    one = Divided(1.0)
+    for n in range(leases.MOST_HOLDERS):
+        one.ask(str(n), 0, 0.0, 1.0, 0.0, Invariants())
+    assert isinstance(one.ask("x", 0, 0.0, 1.0, 0.0, Invariants()), BadCall)
