Draw a query's units from the gateway's contracts before the module decides

Where the fleet's part is on the core asks the stakes first (badgeryoke/guarantee.py, loaded then alone): what is drawn goes to the module as reserved, what finds no room waits its turn if its deadline leaves twice the longest wait, and is ordinary where none comes. Units drawn and not served are counted short by cause: load, server, ceiling, gateway, late. A fault of the stakes makes a query ordinary and costs none its answer.

--- a/badgeryoke/core.py
+++ b/badgeryoke/core.py
@@ -21,6 +21,8 @@
 from martenstep.decide import Gateway
 
 if TYPE_CHECKING:
+    from badgeryoke.guarantee import Floor, Guarantee
+    from fleet.floor import Reserved
     from martenstep.handover import Handed
     from martenstep.watch.guarded import Guarded
 
@@ -36,6 +38,8 @@
 FALLBACK_RETRY_MS = 100.0  # advice of a refusal that the module had no say in
 MOST_QUERIES = 10_000  # taken and not yet answered; more are refused unseen, ...
 MOST_BODIES = 32 * 1024 * 1024  # ... as are those whose bodies together pass a bound: this one, or a narrower
+# Why units that were drawn under a lease were not served; the module may name another cause.
+GATEWAY, LOAD, LATE, SERVER = "gateway", "load", "late", "server"
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,6 +101,7 @@
     __slots__ = (
         "answer",
         "attempts",
+        "cause",
         "deadline_ms",
         "execution",
         "first_ms",
@@ -105,10 +110,12 @@
         "may_have_run",
         "query",
         "relay",
+        "reserved",
         "risk_ms",
         "timer",
         "window_ms",
     )
+    cause: str  # badgeryoke.guarantee sets it with `reserved`
 
     def __init__(self, rid: str, query: Query, answer: Callable[[Answer], None], deadline_ms: float,
                  harmless: bool, window_ms: float = math.inf) -> None:
@@ -123,6 +130,7 @@
         self.timer: asyncio.TimerHandle | None = None
         self.relay: Relay | None = None  # the final answer has begun, and is not at its end
         self.first_ms = 0.0  # how long its first bytes took
+        self.reserved: Reserved | None = None  # its units were drawn under a lease
 
 
 class Core(Actor):
@@ -130,13 +138,17 @@
 
     def __init__(self, settings: api.Settings, seed: int, loop: Turns, clock: Callable[[], float],
                  links: Callable[[int], ServerLink | None], counter: Counter,
-                 most_bodies: int = MOST_BODIES, watch: bool = False) -> None:
+                 most_bodies: int = MOST_BODIES, watch: bool = False, reserves: bool = False) -> None:
         super().__init__(loop)
-        self._module: Module = Gateway(settings, seed)
+        make = Gateway
+        if reserves:
+            from martenstep.reserved import Gateway as make  # not loaded where nothing is reserved
+        self._module: Module = make(settings, seed)
         self._watched: Guarded | None = None
         if watch:
             from martenstep.watch.guarded import Guarded  # not loaded where it is off
-            self._module = self._watched = Guarded(settings, seed)
+            self._module = self._watched = Guarded(settings, seed, make)
+        self._guarantee: Guarantee | None = None
         self._clock, self._links, self._counter = clock, links, counter
         self._most_bodies = most_bodies
         self._go_by(settings)
@@ -148,6 +160,12 @@
         self.faults = 0
         self.figures = Figures(self._classes)
 
+    def guarantee(self, floor: Floor, now: Callable[[], float]) -> None:
+        """Ask a gateway's contracts before the module; they go by a clock of their own, ms."""
+        from badgeryoke.guarantee import Guarantee
+
+        self._guarantee = Guarantee(floor, now, self._loop, lambda run: self.post(self._turn, run))
+
     def _go_by(self, settings: api.Settings) -> None:
         self._classes = {cls.name: cls for cls in settings.classes}
         self._plans = {plan.name for plan in settings.plans}
@@ -261,12 +279,16 @@
             answer = Failed("id of a request that is open")
         elif query.cls not in self._classes or query.plan not in self._plans:
             answer = Refused(FALLBACK_RETRY_MS)  # new settings came between its check and this
-        elif left <= 0 or len(self._running) >= MOST_QUERIES or self._bodies + body > self._most_bodies:
-            answer = Refused(FALLBACK_RETRY_MS)
-        elif self._shed():
-            answer = Refused(self._aim_ms)
+        else:
+            drawn = self._guarantee is not None and self._guarantee.draw(run)
+            if left <= 0 or len(self._running) >= MOST_QUERIES or self._bodies + body > self._most_bodies:
+                answer = Refused(FALLBACK_RETRY_MS)
+            elif not drawn and self._shed():
+                answer = Refused(self._aim_ms)
         if answer is not None:
             give, run.answer = run.answer, None
+            if run.reserved is not None:
+                run.cause = GATEWAY
             if give is not None:
                 self._count(run, answer)
                 give(answer)
@@ -276,8 +298,19 @@
         self._bodies += body
         # A timer of the core's own keeps the deadline, so that no fault of the module loses a query.
         run.timer = self._loop.call_later(left / 1000.0, self.deliver, self._overdue, run)
-        self._decide(api.Request(run.id, query.cls, query.plan, query.customer, left, query.units,
-                                 query.spread, query.first, query.retry), run)
+        if self._guarantee is None or run.reserved is not None or not self._guarantee.waits(run, left):
+            self._ask(run, left)
+
+    def _turn(self, run: _Running) -> None:
+        """A query has waited its turn; its client may have left, or it has its answer."""
+        if run.answer is not None:
+            self._ask(run, run.deadline_ms - self._clock())
+
+    def _ask(self, run: _Running, left: float) -> None:
+        """Bring a query to the module."""
+        query = run.query
+        self._decide(api.Request(run.id, query.cls, query.plan, query.customer, left, query.units, query.spread,
+                                 query.first, query.retry, 0 if run.reserved is None else run.reserved.rank), run)
 
     def _left(self, run: _Running) -> None:
         if run.answer is not None:
@@ -347,9 +380,13 @@
                 self._send(now, action)
             case api.Refuse(id=rid, retry_after_ms=wait):
                 if (run := self._running.get(rid)) is not None:
+                    if run.reserved is not None:
+                        run.cause = action.cause or LOAD
                     self._finish(run, Refused(wait, run.may_have_run))
             case api.Fail(id=rid):
                 if (run := self._running.get(rid)) is not None:
+                    if run.reserved is not None:
+                        run.cause = SERVER
                     self._finish(run, Failed("may have run" if run.may_have_run else "not served"))
             case api.Count(name=name, units=units, expire_ms=life):
                 self._counter.add(name, units, life, self._counted)
@@ -459,6 +496,8 @@
         """A query has ended, under one result."""
         result = {Served: COMPLETED, Refused: REJECTED, Failed: FAILED}[type(answer)]
         self.figures.ended[run.query.cls][result] += 1
+        if run.reserved is not None and result is not COMPLETED and self._guarantee is not None:
+            self._guarantee.unserved(run.reserved, run.cause)
 
     def _forget(self, run: _Running) -> None:
         if self._running.pop(run.id, None) is not None:
--- a/badgeryoke/gateway.py
+++ b/badgeryoke/gateway.py
@@ -23,6 +23,7 @@
 from badgeryoke.diameter.peer import Identity
 from badgeryoke.diameter.server_link import DiameterServerLink
 from badgeryoke.drain import Drain, Effect, Event
+from badgeryoke.drain import State as Standing
 from badgeryoke.host_group import Host, HostGroup
 from badgeryoke.operators import NAME
 from badgeryoke.relay import Room
@@ -31,6 +32,7 @@
 from martenstep.interface import Members, State, Total, Verdict
 
 if TYPE_CHECKING:
+    from badgeryoke.fleet.pools import Pools
     from badgeryoke.fleet.service import Service
     from badgeryoke.handover.link import Giver
     from badgeryoke.management.front import ManagementFront
@@ -57,6 +59,7 @@
                   "folder", "diameter", "operators")
 # While the process that is replaced lives, the new one keeps to this part of the bound on client connections.
 OVERLAP_PART = 0.5
+GIVE_BACK_S = 0.5  # for connections that are not in use any more, before the fleet's part ends
 LIST_S = 1.0  # for discovery's first answer, before the state of an older process is asked for
 
 
@@ -84,7 +87,7 @@
         room = int(max(config.memory_mb - PROGRAM_MB, LEAST_MB) * 1024 * 1024)
         self.core = Core(config.settings, config.seed, loop, self._clock, self._link,
                          self._counter or NoCounter(loop), int(room * BODIES_PART),
-                         config.operators.counter_watch.enabled)
+                         config.operators.counter_watch.enabled, config.operators.fleet is not None)
         self._room = Room(int(room * LONG_PART))
         self._hosts = HostGroup(config.discovery, config.known, loop, self._changed, config.settings.gateways,
                                 random.Random(config.seed).random)
@@ -102,6 +105,7 @@
         self._management: ManagementFront | None = None
         self._giver: Giver | None = None
         self.fleet: Service | None = None
+        self._pools: Pools | None = None
         if (fleet := config.operators.fleet) is not None and all(
                 one.name != (fleet.me or config.name) for one in fleet.members):
             raise ConfigError(f"{NAME}: fleet.me: {fleet.me or config.name!r} is no member")
@@ -111,9 +115,14 @@
     def start(self) -> None:
         """Listen, connect and watch."""
         if self._config.operators.fleet is not None:
-            from badgeryoke.fleet.service import Service  # not loaded where no fleet is
+            from badgeryoke.fleet.pools import Pools  # not loaded where no fleet is
+            from badgeryoke.fleet.service import Service
 
             self.fleet = Service(self._config.operators.fleet, self._config.name)
+            # A connection is used as long as the longest request on it, and then rests.
+            longest_ms = max((cls.deadline_ms for cls in self._config.settings.classes), default=0.0)
+            self._pools = self.fleet.pools = Pools(self._config.operators.fleet, self._loop, self.fleet.now,
+                                                   self._config.idle_ms + longest_ms, self)
             self.fleet.start()
         if self._counter is not None:
             self._counter.open()
@@ -165,6 +174,8 @@
         if (handed := await taker.ask()) is not None:
             self.core.take(handed, self._hosts.numbers)
             self._front.share(OVERLAP_PART)
+            if self._pools is not None:
+                self._pools.alone = False  # the process before answers what it has taken
             log.info("state taken over: %d customers, %d servers", len(handed.ledgers), len(handed.peers))
         if self._drain.ending:
             return
@@ -247,7 +258,11 @@
             found = hosts.get(number)
             if found is None or (found.address, found.kind) != (old.address, old.kind):
                 link.drain()
+                if self._pools is not None and link.lease is not None:
+                    self._pools.forget(link.lease)
                 del self._links[number]
+        if self._pools is not None:
+            self._pools.listed(host.id for host in hosts.values())
         for number, host in hosts.items():
             if number not in self._links:
                 self._links[number] = host, self._open_link(host, most)
@@ -260,14 +275,20 @@
 
     def _open_link(self, host: Host, most: int) -> RespServerLink | DiameterServerLink:
         config, second = self._config, self._config.diameter
+        lease = None if self._pools is None else self._pools.lease(host.id)
+        made: RespServerLink | DiameterServerLink
         if second is not None and host.kind in second.server_kinds:
-            return DiameterServerLink(
+            made = DiameterServerLink(
                 host.address, self._loop, self._clock, me=self._me, services=self._services,
-                connect_ms=config.connect_ms, idle_ms=config.idle_ms, watchdog_s=second.watchdog_s)
-        return RespServerLink(
-            host.address, self._loop, self._clock, report_names=config.report_names,
-            connect_ms=config.connect_ms, idle_ms=config.idle_ms, most=most,
-            most_units=config.settings.max_units, room=self._room)
+                connect_ms=config.connect_ms, idle_ms=config.idle_ms, watchdog_s=second.watchdog_s, lease=lease)
+        else:
+            made = RespServerLink(
+                host.address, self._loop, self._clock, report_names=config.report_names,
+                connect_ms=config.connect_ms, idle_ms=config.idle_ms, most=most,
+                most_units=config.settings.max_units, room=self._room, lease=lease)
+        if lease is not None:
+            lease.link = made
+        return made
 
     def _sweep(self) -> None:
         for _, link in self._links.values():
@@ -294,6 +315,16 @@
             return False, "no list of servers yet"
         return self._listening, self._drain.state.value if self._listening else "taking over"
 
+    @property
+    def drained(self) -> bool:
+        """Clients are turned away, and the front knows (fleet.pools.Gateway)."""
+        return self._drain.state is Standing.PAUSED
+
+    @property
+    def unanswered(self) -> int:
+        """Queries without an answer."""
+        return self.core.unanswered
+
     def pause(self) -> str:
         """Send clients away, without an end of the process."""
         self._drained(Event.PAUSE)
@@ -327,6 +358,11 @@
 
     async def _part_with(self, fleet: Service) -> None:
         """What this gateway leads for the fleet is handed over, in a time that is bounded."""
+        if self._pools is not None:
+            self._pools.leave()
+            until = self._loop.time() + GIVE_BACK_S
+            while not self._pools.empty and self._loop.time() < until:
+                await asyncio.sleep(0.01)
         await fleet.leave()
         fleet.close()
 
@@ -335,6 +371,8 @@
         if not self._drain.ending:
             log.info("ending: %d unanswered", self.core.unanswered)
             if self.fleet is not None:
+                if self._pools is not None:
+                    self._pools.leave()
                 self._leaving = asyncio.ensure_future(self.fleet.leave())
         self._drained(Event.TERM)
 
--- /dev/null
+++ b/badgeryoke/guarantee.py
@@ -0,0 +1,107 @@
+"""Queries of customers with a contract: drawn under this gateway's lease before the module sees them.
+
+Loaded only where the fleet's part is on.  A query that finds no room in the bucket waits its turn there if its deadline
+leaves the time, and is an ordinary one if none comes; what was drawn and not served is counted short, with its cause.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable, Mapping
+from typing import Any, Protocol
+
+from badgeryoke.actor import Turns
+from badgeryoke.core import LATE
+from badgeryoke.execution import Query
+from fleet.floor import WAIT_MS, Reserved
+
+log = logging.getLogger("badgeryoke.guarantee")
+
+TURN_S = 0.004  # between two looks at who has its turn, while any waits
+PATIENT_MS = 2.0 * WAIT_MS  # of its time a query must have left to wait: the longest wait, and as much to be served in
+
+
+class Floor(Protocol):
+    """This gateway's stakes (`fleet.floor.Floor`); times are ms of the fleet's clock here."""
+
+    @property
+    def stakes(self) -> Mapping[str, object]:
+        """By contract; none: no call is worth its time."""
+
+    def take(self, now: float, customer: int, units: float) -> Reserved | None: ...
+
+    def wait(self, now: float, customer: int, units: float, token: Any) -> bool: ...
+
+    def turns(self, now: float) -> list[tuple[Any, Reserved | None]]: ...
+
+    def failed(self, now: float, reserved: Reserved, cause: str) -> None: ...
+
+
+class Drawn(Protocol):
+    """A query as the core keeps it."""
+
+    query: Query
+    reserved: Reserved | None
+    cause: str  # why it was not served, if it is not; set from the moment at which `reserved` is
+
+
+class Guarantee:
+    """Between the core and the stakes.  `ask`: the core's, for a query that has waited."""
+
+    def __init__(self, floor: Floor, now: Callable[[], float], loop: Turns, ask: Callable[[Any], None]) -> None:
+        self._floor, self._now, self._loop, self._ask = floor, now, loop, ask
+        self._waiting = 0
+        self.faults = 0
+
+    def draw(self, run: Drawn) -> bool:
+        """Draw a query's units; False where there is no contract, or no room now."""
+        if not self._floor.stakes:
+            return False
+        run.cause = LATE
+        try:
+            run.reserved = self._floor.take(self._now(), run.query.customer, run.query.units)
+        except Exception:
+            self._fault()
+        return run.reserved is not None
+
+    def waits(self, run: Drawn, left_ms: float) -> bool:
+        """Whether a query that found no room waits its turn; the core's `ask` is called when that has come."""
+        if left_ms < PATIENT_MS or not self._floor.stakes:
+            return False
+        try:
+            if not self._floor.wait(self._now(), run.query.customer, run.query.units, run):
+                return False
+        except Exception:
+            self._fault()
+            return False
+        if not self._waiting:
+            self._loop.call_later(TURN_S, self._look)
+        self._waiting += 1
+        return True
+
+    def _look(self) -> None:
+        turns: list[tuple[Any, Reserved | None]] = []
+        try:
+            turns = self._floor.turns(self._now())
+        except Exception:
+            self._fault()  # who waits is answered at its deadline, by the core
+        for run, reserved in turns:
+            run.reserved = reserved
+            self._ask(run)
+        self._waiting -= len(turns)
+        if self._waiting:
+            self._loop.call_later(TURN_S, self._look)
+        self._loop.run()
+
+    def _fault(self) -> None:
+        """A fault in the stakes makes a query an ordinary one, and costs none its answer."""
+        self.faults += 1
+        if self.faults == 1 or self.faults % 1000 == 0:
+            log.exception("fault %d of this gateway's contracts", self.faults)
+
+    def unserved(self, reserved: Reserved, cause: str) -> None:
+        """What was drawn has its final answer, and no server served it."""
+        try:
+            self._floor.failed(self._now(), reserved, cause)
+        except Exception:
+            self._fault()
--- a/martenstep/reserved.py
+++ b/martenstep/reserved.py
@@ -20,14 +20,14 @@
 from __future__ import annotations
 
 from martenstep import decide
-from martenstep.interface import Action, Event, Outcome, Plan, Refuse, Request, Server, Settings, Total, Where
+from martenstep.interface import Action, Outcome, Plan, Refuse, Request, Server, Settings, Total, Verdict, Where
 
 OVER = 3.0  # of what servers are held to bear may be out above that, while they are slow, of the first class; ...
 # ... of class n the nth part of it.  By then the others have had no place for long.
 KEPT = 0.25  # of the quota's burst is left to reserved requests by the customer's others, ...
 KEPT_MS = 2000.0  # ... for so long after one of them found no headroom
 MOST_PRESSED = 10_000  # customers of whom that is known; beyond, all are forgotten
-CEILING, LOAD = "ceiling", "load"  # why a reserved request is refused
+CEILING, LOAD, SERVER = "ceiling", "load", "server"  # why a reserved request is refused
 
 
 class Gateway(decide.Gateway):
@@ -36,18 +36,17 @@
     def __init__(self, settings: Settings, seed: int) -> None:
         super().__init__(settings, seed)
         self._aside: decide.Ledger | None = None  # the book of all reserved requests: it has no quota
+        self._verdict: Verdict | None = None  # of the attempt whose end is being handled
         self._pressed: dict[int, float] = {}  # customers whose reserved requests draw on the quota, and since when
 
     def _presses(self, now: float, customer: int) -> bool:
         return bool(self._pressed) and now - self._pressed.get(customer, -KEPT_MS) < KEPT_MS
 
-    def handle(self, now: float, event: Event) -> list[Action]:
-        """Decide on one event."""
-        if self._pressed and isinstance(event, Total):
-            led = self._quota._calls.get(event.name)
-            if led is not None and self._presses(now, led.customer):  # they are judged in this order
-                led.pending = dict(sorted(led.pending.items(), key=lambda held: not self._reserved(held[0])))
-        return super().handle(now, event)
+    def _total(self, now: float, event: Total) -> list[Action]:
+        led = self._quota._calls.get(event.name) if self._pressed else None
+        if led is not None and self._presses(now, led.customer):  # they are judged in this order
+            led.pending = dict(sorted(led.pending.items(), key=lambda held: not self._reserved(held[0])))
+        return super()._total(now, event)
 
     def _reserved(self, rid: str) -> bool:
         job = self._jobs.get(rid)
@@ -121,7 +120,8 @@
     def _give_up(self, now: float, job: decide.Job) -> list[Action]:
         actions = super()._give_up(now, job)
         if job.request.reserved:
-            return [Refuse(one.id, one.retry_after_ms, LOAD) if isinstance(one, Refuse) else one for one in actions]
+            cause = LOAD if self._verdict in (None, Verdict.FULL) else SERVER
+            return [Refuse(one.id, one.retry_after_ms, cause) if isinstance(one, Refuse) else one for one in actions]
         return actions
 
     def _choose(self, now: float, job: decide.Job, allowed: Where) -> Server | None:
@@ -137,6 +137,10 @@
         return choice[0]
 
     def _outcome(self, now: float, event: Outcome) -> list[Action]:
-        if not event.ended and self._reserved(event.id):
-            self._retries += 1  # a further attempt takes nothing of what all others may make
-        return super()._outcome(now, event)
+        if self._aside is None or not self._reserved(event.id):
+            return super()._outcome(now, event)
+        self._retries += not event.ended  # a further attempt takes nothing of what all others may make
+        self._verdict = event.verdict
+        actions = super()._outcome(now, event)
+        self._verdict = None
+        return actions
--- a/tests/test_reserved.py
+++ b/tests/test_reserved.py
@@ -4,14 +4,20 @@
 
 import random
 from dataclasses import replace
+from typing import Any
 
 import pytest
 
+from badgeryoke.actor import Turns
+from badgeryoke.core import Core, Refused, Served
+from badgeryoke.execution import Query
+from fleet.floor import Reserved
 from martenstep import decide, reserved
 from martenstep import interface as api
 from martenstep.watch.guarded import Guarded
 from tests import helpers
 from tests.helpers import START, only
+from tests.test_core import AIM, Bench, NoCounter
 
 
 def module(servers: int = 4, **changes: object) -> reserved.Gateway:
@@ -176,3 +182,116 @@
     plain, other = play(decide.Gateway(helpers.SETTINGS, 9)), play(reserved.Gateway(helpers.SETTINGS, 9))
     assert plain == other and {type(action) for one in plain for action in one} >= {
         api.Send, api.Refuse, api.Count, api.Wake}
+
+
+class StandIn:
+    """Stakes of one customer, 5: as many units as `room` says, and who waits gets his turn when `due` says so."""
+
+    def __init__(self, room: float = 0.0) -> None:
+        self.room, self.due, self.waiting = room, False, list[tuple[Any, float]]()
+        self.short: list[tuple[str, float]] = []
+        self.broken, self.stakes = False, {"peak": None}
+
+    def take(self, now: float, customer: int, units: float) -> Reserved | None:
+        if self.broken:
+            raise ValueError("planted")
+        if customer != 5 or self.room < units:
+            return None
+        self.room -= units
+        return Reserved("peak", units, 1)
+
+    def wait(self, now: float, customer: int, units: float, token: Any) -> bool:
+        if customer == 5 and not self.broken:
+            self.waiting.append((token, units))
+        return customer == 5 and not self.broken
+
+    def turns(self, now: float) -> list[tuple[Any, Reserved | None]]:
+        if not self.due:
+            return []
+        held, self.waiting = self.waiting, []
+        return [(token, self.take(now, 5, units)) for token, units in held]
+
+    def failed(self, now: float, one: Reserved, cause: str) -> None:
+        self.short.append((cause, one.units))
+
+
+class Guaranteed(Bench):
+    """A core whose plan lets nothing more through, with contracts."""
+
+    def __init__(self, room: float = 0.0) -> None:
+        super().__init__()
+        plan = api.Plan("free", rate=0.001, burst=1.0)
+        made = replace(helpers.SETTINGS, has_counter=False, gateways=1, classes=(AIM,), plans=(plan,))
+        self.core = Core(made, 1, Turns(self.loop), self.loop.clock, lambda _: self.link, NoCounter(), reserves=True)
+        self.core.members(api.Members(api.Scope.FULL, (helpers.server(1),)))
+        self.stakes = StandIn(room)
+        self.core.guarantee(self.stakes, lambda: self.loop.time() * 1000.0)
+        self.ask()  # the burst; drawn, if there is room
+        if not room:
+            self.stakes.due = True
+            self.loop.run(0.01)
+            self.stakes.due = False
+        self.last.served(b"first")
+        self.loop.run()
+
+
+def test_what_is_drawn_is_sent_and_the_rest_waits_its_turn_or_is_ordinary() -> None:
+    bench = Guaranteed(room=2.0)
+    bench.ask()
+    bench.last.served(b"drawn")
+    bench.loop.run()
+    bench.ask()
+    assert bench.answers == [Served(b"first"), Served(b"drawn")] and len(bench.stakes.waiting) == 1
+    bench.stakes.due, bench.stakes.room = True, 1.0
+    bench.loop.run(0.01)
+    bench.last.served(b"waited")
+    bench.loop.run()
+    assert bench.answers[2:] == [Served(b"waited")] and bench.stakes.short == []
+    for _ in range(2):  # none in time: ordinary, of which the plan's burst bears one
+        bench.ask()
+        bench.loop.run(0.01)
+    bench.last.served(b"ordinary")
+    bench.loop.run(3.0)
+    assert bench.answers[3] != bench.answers[4] and len(bench.answers) == 5
+    assert Served(b"ordinary") in bench.answers and bench.stakes.short == []  # it is the stakes that count these
+
+
+def test_a_query_waits_only_while_it_leaves_the_time_to_serve_it() -> None:
+    bench = Guaranteed()
+    bench.ask(d=400.0)
+    assert not bench.stakes.waiting and isinstance(bench.answers[-1], Refused)
+
+
+def test_what_was_drawn_and_not_served_is_counted_by_its_cause_and_answered_once() -> None:
+    bench = Guaranteed(room=4.0)
+    bench.ask()
+    while len(bench.answers) < 2:  # as often as attempts are allowed
+        bench.last.turned_away("full")
+        bench.loop.run()
+    bench.ask()  # silence, to the deadline
+    bench.loop.run(3.0)
+    bench.ask()()  # its client leaves
+    bench.loop.run(3.0)
+    assert [type(one) for one in bench.answers] == [Served, Refused, Refused]
+    assert bench.stakes.short == [("load", 1.0), ("server", 1.0)]
+
+
+def test_who_waits_may_leave_and_a_fault_of_the_stakes_costs_no_query() -> None:
+    bench = Guaranteed()
+    left = bench.ask()
+    left()
+    bench.loop.run()
+    bench.stakes.due, bench.stakes.room = True, 1.0
+    bench.loop.run(1.0)
+    assert len(bench.answers) == 1 and bench.core.unanswered == 0
+    bench.stakes.broken = True
+    bench.ask()
+    assert len(bench.answers) == 2 and isinstance(bench.answers[-1], Refused)
+
+
+def test_without_contracts_nothing_of_the_fleet_is_asked() -> None:
+    bench = Bench()
+    assert bench.core._guarantee is None and type(bench.core._module) is decide.Gateway
+    bench.core.submit(Query("x", "balance-check", "free", 5, 2000.0, 1.0, 1), bench.answers.append)
+    bench.loop.run()
+    assert bench.link.executions
