Play contracts, connection leases and rolls in simulated time

Tenants' traffic that shifts and rests, servers that hold so many connections, rolls over all gateways: the referee sums the parts that holders believe in by their own clocks, counts open connections at each server, and sees who a roll ends, when and how often.

--- a/lab/fleet/drawn.py
+++ b/lab/fleet/drawn.py
@@ -92,7 +92,8 @@
 def plan_of(scenario: Scenario, seed: int) -> Plan:
     """A scenario's fleet as a plan."""
     return Plan(seed, scenario.gateways, scenario.halls, scenario.copies, length_ms=scenario.length_ms,
-                proposals=scenario.proposals, wild=False, drift=0.01,
+                proposals=scenario.proposals, contracts=scenario.contracts, rolls=scenario.rolls,
+                connections=scenario.connections, servers=scenario.servers if scenario.connections else 0,
                 faults=tuple(one for one in scenario.faults if one.target in ("gateway", "gateways")))
 
 
--- /dev/null
+++ b/lab/fleet/gateway.py
@@ -0,0 +1,528 @@
+"""What surrounds a fleet's lease holders in simulated time: tenants' traffic, servers that hold so many connections,
+rolls.
+
+The referee's side of it counts what truly happens: units drawn and asked for, parts that holders believe in (each by
+its own clock) at every moment at which one changes, connections that each server has open, queries that ended without
+an answer.  A killed process's connections are reset by its machine; a lost machine's stay until the server's idle time
+has gone by.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+from typing import TYPE_CHECKING, Any
+
+from fleet.connections import Keeper, process
+from fleet.contracts import ContractsRead, Propose, Terms, Window
+from fleet.floor import Floor
+from fleet.invariants import Broken
+from fleet.part import Applied
+from fleet.rollout import Duty, RollAsk, Rolled, RollsRead
+from lab.fleet.clock import UNIX_MS
+from lab.text.scenario import ContractText, RollText
+
+if TYPE_CHECKING:
+    from lab.fleet.world import FleetWorld, Machine
+
+HOP_MS = (0.2, 1.0)
+PUMP_MS = 20.0
+WORK_MS = (30.0, 90.0)
+FRONT_MS = 300.0  # until clients have left a gateway that turns them away
+ACT_MS = (200.0, 600.0)  # from a process's end by a roll to its successor
+LEFT_OUT_MS = 2000.0  # behind a loss, of the contract's floor
+EDGE_MS = 2500.0  # at a window's ends, of the contract's floor: leases are asked for and end
+STALE_MS = 3000.0  # a leader's view of the copies is not older
+NEED_MS = 700.0  # between changes of what a gateway needs of a server
+PHASE_MS, BUSY_MS = 9000.0, 6000.0  # a tenant's traffic comes for a while, and rests
+USED = 0.05  # of the due units: a shortfall below is measured against so much
+
+
+@dataclass(slots=True)
+class Conn:
+    """One connection, as its two ends know it."""
+
+    server: str
+    owner: str
+    life: int
+    open_here: bool = True  # the gateway counts it
+    open_there: bool = False  # the server does
+    ending: bool = False
+    gone: bool = False  # its machine is lost: nobody resets it
+    used: float = 0.0
+
+
+@dataclass(slots=True)
+class Side:
+    """One process's holders, and what it has under way."""
+
+    life: int
+    floor: Floor
+    keeper: Keeper
+    rolled: Rolled
+    conns: dict[str, list[Conn]] = field(default_factory=dict)
+    need: dict[str, int] = field(default_factory=dict)
+    need_at: float = 0.0
+    paused_at: float = math.inf
+    flights: set[int] = field(default_factory=set)
+    leaving: bool = False
+
+
+@dataclass(slots=True)
+class Deal:
+    """A contract as the referee follows it.  Times in ms of the world."""
+
+    text: ContractText
+    customers: tuple[int, ...]
+    tenant: str
+    doors: tuple[int, ...]
+    shift_ms: float
+    admitted: bool = False
+    asked_at: float = math.inf
+    over: float = 0.0
+    level: float = 0.0  # of the referee's own bucket: what may still be drawn
+    level_at: float = 0.0
+    due_level: float = 0.0  # of the one that says what is due
+    due_at: float = 0.0
+    due: dict[int, float] = field(default_factory=dict)  # units within the contract, by time of traffic
+    got: dict[int, float] = field(default_factory=dict)  # units drawn under it
+    overdrawn: float = 0.0
+    asked: dict[int, float] = field(default_factory=dict)  # by second
+    served: dict[int, float] = field(default_factory=dict)
+    lent: float = 0.0
+    offered: float = 0.0
+
+    def phase(self, true: float) -> tuple[int, float]:
+        """Which time of traffic it is, and how long ago that began."""
+        turn, since = divmod(true - self.text.from_ms, PHASE_MS)
+        return int(turn), since
+
+    def true_short(self) -> float:
+        """Units that were due and not drawn."""
+        return sum(max(due - self.got.get(turn, 0.0), 0.0) for turn, due in self.due.items())
+
+
+class Gates:
+    """All of it, for one world."""
+
+    def __init__(self, world: FleetWorld) -> None:
+        self.world, plan = world, world.plan
+        self.draw = Random(f"fleet/{plan.seed}/gates")
+        self._calendar = world.calendar
+        self.sides: dict[str, Side] = {}
+        self.servers: dict[str, list[Conn]] = {f"s{number + 1}": [] for number in range(plan.servers)}
+        self.connections_over = 0
+        self.deals = [self._deal(text) for text in plan.contracts]
+        self.losses: list[float] = []
+        self.roll_lost = 0
+        self.roll_states: dict[str, str] = {}
+        self._flights = 0
+        self.told_short: dict[str, float] = {}
+        self.on = bool(plan.contracts or plan.rolls or plan.connections)
+        self.away: set[str] = set()  # gateways that a roll has ended and that are not back
+        self.unwhole_since = math.inf  # the copies, as the disks show
+        self.drained: dict[tuple[str, str], int] = {}  # roll, gateway -> processes that a roll ended
+
+    # Processes ------------------------------------------------------------------------------------------
+
+    def start(self, machine: Machine, now: float) -> list[Any]:
+        """A process begins; gives its holders."""
+        if not self.on:
+            return []
+        world = self.world
+        self.away.discard(machine.name)
+        who = process(machine.id, f"b{machine.boot}", str(machine.life))
+        side = self.sides[machine.name] = Side(
+            machine.life,
+            Floor(machine.id, str(machine.life), world.timings, machine.hall, world.plan.members),
+            Keeper(who, world.timings, world.rules, now, alone=True), Rolled(machine.name, who))
+        self._calendar.at(self._calendar.now + self.draw.uniform(1.0, PUMP_MS), self._pump, machine.name, side.life)
+        return [side.floor, side.keeper, side.rolled]
+
+    def ended(self, machine: Machine, lost: bool) -> None:
+        """A process is gone: its kernel resets what was open, a lost machine does not."""
+        side = self.sides.pop(machine.name, None)
+        if side is None:
+            return
+        if side.leaving:
+            self.roll_lost += len(side.flights)
+        for conns in side.conns.values():
+            for conn in conns:
+                conn.open_here = False
+                conn.gone = lost
+                if not lost:
+                    self._later(self._let_go, conn)
+
+    def loss(self) -> None:
+        """Something was lost: the contract's floor is not judged for a while."""
+        self.losses.append(self._calendar.now)
+
+    def _later(self, what: Callable[..., None], *args: Any) -> None:
+        self._calendar.at(self._calendar.now + self.draw.uniform(*HOP_MS), what, *args)
+
+    def _pump(self, name: str, life: int) -> None:
+        machine, side = self.world.machines[name], self.sides.get(name)
+        if side is None or side.life != life or self.world.over:
+            return
+        waits = False
+        if machine.up:
+            now = machine.clock.now(self._calendar.now)
+            if self.deals:
+                waits = self._turns(machine, side, now)
+                self._measure()
+            try:
+                if self.servers:
+                    self._pool(name, side, now)
+                if self.world.plan.rolls:
+                    self._roll(machine, side, now)
+            except Broken as fault:
+                self.world.found(fault.rule.name, f"{name}: {fault}")
+                return
+        self._calendar.at(self._calendar.now + (PUMP_MS / 2.0 if waits else PUMP_MS), self._pump, name, life)
+
+    # Connections ----------------------------------------------------------------------------------------
+
+    def _pool(self, name: str, side: Side, now: float) -> None:
+        true, draw, keeper = self._calendar.now, self.draw, side.keeper
+        plan = self.world.plan
+        if true >= side.need_at:
+            side.need_at = true + NEED_MS * draw.uniform(0.5, 1.5)
+            most = max(2 * plan.connections // plan.members, 2)
+            for server in self.servers:
+                side.need[server] = draw.choice((0, 1, 2, draw.randint(0, most), draw.randint(0, most)))
+        drained = side.paused_at < true - FRONT_MS
+        for server in self.servers:
+            need = 0 if drained else side.need[server]
+            conns = [conn for conn in side.conns.get(server, ()) if conn.open_here]
+            keeper.want(server, need)
+            if keeper.held(now, server):
+                for conn in conns[:max(need, 1)]:
+                    conn.used = true
+            if keeper.leaving or drained:
+                for conn in conns[need:]:
+                    self._close(side, conn)
+            while len(conns) < need and keeper.may_open(now, server):
+                keeper.opened(now, server)
+                conn = Conn(server, name, side.life, used=true)
+                conns.append(conn)
+                side.conns.setdefault(server, []).append(conn)
+                self._later(self._reach, conn)
+        for server, many in keeper.must_close(now):
+            left = [conn for conn in side.conns.get(server, ()) if conn.open_here and not conn.ending]
+            for conn in left[-many:]:
+                self._close(side, conn)
+
+    def _close(self, side: Side, conn: Conn) -> None:
+        if not conn.ending:
+            conn.ending = True
+            side.keeper.closing(conn.server)
+            # A server lets go late at times; how late is within what a lease leaves for it.
+            late = self.draw.uniform(0.0, 200.0) if self.draw.random() < 0.2 else 0.0
+            self._calendar.at(self._calendar.now + self.draw.uniform(*HOP_MS) + late, self._let_go, conn)
+
+    def _reach(self, conn: Conn) -> None:
+        """The server takes it."""
+        if conn.ending and not conn.open_here:
+            return
+        conn.open_there = True
+        there = self.servers[conn.server]
+        there.append(conn)
+        over = len(there) - self.world.plan.connections
+        if over > self.connections_over:
+            self.connections_over = over
+            self.world.found("connections-over", f"{conn.server}: {len(there)} open of {self.world.plan.connections}, "
+                             f"by {[one.owner for one in there]}")
+        self._calendar.at(self._calendar.now + self.world.idle_ms, self._idle, conn)
+        if not conn.open_here and not conn.gone:  # its process has ended since
+            self._later(self._let_go, conn)
+
+    def _idle(self, conn: Conn) -> None:
+        if not conn.open_there:
+            return
+        left = conn.used + self.world.idle_ms - self._calendar.now
+        if left > 0:
+            self._calendar.at(self._calendar.now + left, self._idle, conn)
+        else:
+            self._let_go(conn)
+
+    def _let_go(self, conn: Conn) -> None:
+        """The server has closed it, or read its end."""
+        if conn.open_there:
+            conn.open_there = False
+            self.servers[conn.server].remove(conn)
+        elif conn.open_here:
+            self._later(self._let_go, conn)  # its beginning is still on the way
+            return
+        self._later(self._closed, conn)
+
+    def _closed(self, conn: Conn) -> None:
+        side = self.sides.get(conn.owner)
+        if side is None or side.life != conn.life or not conn.open_here:
+            return
+        conn.open_here = False
+        side.conns[conn.server].remove(conn)
+        side.keeper.closed(conn.server, conn.ending)
+
+    # Contracts ------------------------------------------------------------------------------------------
+
+    def _deal(self, text: ContractText) -> Deal:
+        first, last = text.customers
+        count = min(self.world.plan.members, 3)
+        doors = tuple(self.draw.sample(range(self.world.plan.members), count))
+        return Deal(text, tuple(range(first, last + 1)), f"t{first}", doors, self.draw.uniform(8000.0, 20_000.0),
+                    level=text.burst, due_level=text.burst)
+
+    def begin(self) -> None:
+        """Propose, ask for rolls, and let the traffic come."""
+        if not self.on:
+            return
+        for deal in self.deals:
+            self._calendar.at(max(deal.text.from_ms - 12_000.0, 1500.0), self._propose, deal, 1)
+            self._calendar.at(deal.text.from_ms + EDGE_MS, self._ask, deal)
+        for roll in self.world.plan.rolls:
+            self._calendar.at(roll.from_ms, self._ask_roll, roll, 1)
+        if self.world.plan.rolls:
+            self._calendar.at(2000.0, self._query)
+
+    def _propose(self, deal: Deal, tries: int) -> None:
+        text = deal.text
+        command = Propose(id=f"lab/{text.name}", contract=text.name, terms=Terms(
+            deal.tenant, deal.customers, text.rate, text.burst,
+            (Window(UNIX_MS + text.from_ms, UNIX_MS + text.to_ms),), rank=min(text.importance, 9)))
+
+        def told(result: Any) -> None:
+            if isinstance(result, Applied) and result.error is None:
+                deal.admitted = True
+            elif tries < 10:
+                self._calendar.at(self._calendar.now + 300.0, self._propose, deal, tries + 1)
+
+        self._call(command, told)
+
+    def _call(self, command: Any, told: Callable[[Any], None]) -> None:
+        up = [name for name, machine in self.world.machines.items() if machine.node is not None]
+        if up:
+            self.world.call(self.draw.choice(up), command, told)
+        else:
+            told(None)
+
+    def _ask(self, deal: Deal) -> None:
+        text, draw, true = deal.text, self.draw, self._calendar.now
+        if true > min(text.to_ms, self.world.plan.length_ms) - EDGE_MS or self.world.over:
+            return
+        self._calendar.at(true + 1000.0 * draw.expovariate(1.3 * text.rate / 2.0), self._ask, deal)
+        if deal.phase(true)[1] >= BUSY_MS:
+            return
+        units = float(draw.randint(1, 3))
+        shift = int((true + 977.0 * text.customers[0]) // deal.shift_ms)
+        door = deal.doors[shift % len(deal.doors)] if draw.random() < 0.73 else draw.choice(deal.doors)
+        name = self._door(door)
+        second = int(true // 1000.0)
+        deal.asked[second] = deal.asked.get(second, 0.0) + units
+        deal.due_level = min(deal.due_level + text.rate * (true - deal.due_at) / 1000.0, text.burst)
+        deal.due_at = true
+        turn = deal.phase(true)[0]
+        if deal.due_level >= units:
+            deal.due_level -= units
+            deal.due[turn] = deal.due.get(turn, 0.0) + units
+        if name is None:
+            return
+        machine, side = self.world.machines[name], self.sides[name]
+        now = machine.clock.now(true)
+        customer = draw.choice(deal.customers)
+        reserved = side.floor.take(now, customer, units)
+        if reserved is not None:
+            self._served((deal, units))
+        else:
+            side.floor.wait(now, customer, units, (deal, units))
+
+    def _door(self, door: int) -> str | None:
+        """The gateway that a client reaches: the one it means, or another that runs and takes clients."""
+        names = list(self.world.machines)
+        for step in range(len(names)):
+            name = names[(door + step) % len(names)]
+            side = self.sides.get(name)
+            if side is not None and self.world.machines[name].up and (
+                    side.paused_at > self._calendar.now - FRONT_MS and not side.leaving):
+                return name
+        return None
+
+    def _served(self, token: tuple[Deal, float]) -> None:
+        deal, units = token
+        second, turn = int(self._calendar.now // 1000.0), deal.phase(self._calendar.now)[0]
+        deal.served[second] = deal.served.get(second, 0.0) + units
+        deal.got[turn] = deal.got.get(turn, 0.0) + units
+        # What all together draw, from the whole rate and burst: the leases' very promise.
+        true, text = self._calendar.now, deal.text
+        deal.level = min(deal.level + text.rate * (true - deal.level_at) / 1000.0, text.burst) - units
+        deal.level_at = true
+        deal.overdrawn = max(deal.overdrawn, -deal.level)
+
+    def _turns(self, machine: Machine, side: Side, now: float) -> bool:
+        for token, reserved in side.floor.turns(now):
+            if reserved is not None:
+                self._served(token)
+        return any(stake.waiting for stake in side.floor.stakes.values())
+
+    def _measure(self) -> None:
+        """Parts that holders believe in now, each by its own clock."""
+        true = self._calendar.now
+        for deal in self.deals:
+            held = lent = 0.0
+            name = deal.text.name
+            for owner, side in self.sides.items():
+                stake = side.floor.stakes.get(name)
+                if stake is None or not stake.part:
+                    continue
+                machine = self.world.machines[owner]
+                now = machine.clock.now(true)
+                if now >= stake.ends:
+                    continue
+                wall = machine.clock.wall(now)
+                held += stake.part * (stake.then if wall >= stake.until_ms else 1.0)
+                if machine.up and stake.demand.gone(now):
+                    lent += stake.part
+            over = held - deal.text.rate
+            if over > deal.over + 1e-6:
+                deal.over = over
+            first, last = deal.text.from_ms + EDGE_MS, deal.text.to_ms - EDGE_MS
+            if deal.phase(true)[1] > BUSY_MS + 1000.0 and first < true < last and not self._near(true):
+                deal.lent += min(lent, deal.text.rate)
+                deal.offered += deal.text.rate
+
+    def _near(self, true: float) -> bool:
+        return any(loss <= true <= loss + LEFT_OUT_MS for loss in self.losses)
+
+    def finish(self) -> None:
+        """Ask what is told of units short."""
+        def told(result: Any) -> None:
+            if isinstance(result, Applied) and result.error is None:
+                for facts in result.value["contracts"].values():
+                    self.told_short[facts["contract"]] = sum(facts["short"].values())
+
+        if self.deals:
+            self._call(ContractsRead(id="lab/read"), told)
+
+    def contract_floor(self) -> float | None:
+        """The least share of a contract's rate served in a second that asked for it."""
+        found: list[float] = []
+        for deal in self.deals:
+            if not deal.admitted:
+                continue
+            for second, asked in deal.asked.items():
+                begin = second * 1000.0
+                if asked >= deal.text.rate and not any(
+                        begin - LEFT_OUT_MS < loss < begin + 1000.0 for loss in self.losses):
+                    found.append(min(deal.served.get(second, 0.0) / deal.text.rate, 1.0))
+        return min(found, default=None)
+
+    def contract_over(self) -> float | None:
+        """The most by which leases passed a contract."""
+        return max((deal.over for deal in self.deals), default=None)
+
+    def shortfall_error(self) -> float | None:
+        """Told against true units short."""
+        found = [abs(self.told_short.get(deal.text.name, 0.0) - deal.true_short())
+                 / max(deal.true_short(), USED * sum(deal.due.values()), 1.0) for deal in self.deals if deal.admitted]
+        return max(found, default=None)
+
+    def lent_share(self) -> float | None:
+        """Of what was reserved and idle, what gateways offered to others."""
+        offered = sum(deal.offered for deal in self.deals)
+        return sum(deal.lent for deal in self.deals) / offered if offered else None
+
+    # Rolls ----------------------------------------------------------------------------------------------
+
+    def _query(self) -> None:
+        """An ordinary query, for what a roll may lose."""
+        if self.world.over or not self.world.loading:
+            return
+        self._calendar.at(self._calendar.now + 1000.0 * self.draw.expovariate(40.0), self._query)
+        name = self._door(self.draw.randrange(self.world.plan.members))
+        if name is not None:
+            self._flights += 1
+            side = self.sides[name]
+            side.flights.add(self._flights)
+            self._calendar.at(self._calendar.now + self.draw.uniform(*WORK_MS), side.flights.discard, self._flights)
+
+    def _ask_roll(self, text: RollText, tries: int) -> None:
+        command = RollAsk(id=f"lab/{text.name}", roll=text.name, at_once=text.at_once,
+                          gateways=tuple(f"g{number}" for number in text.gateways), reason="laboratory",
+                          deadline_ms=10_000.0, warm_ms=500.0)
+        self.roll_states.setdefault(text.name, "not asked")
+
+        def told(result: Any) -> None:
+            if isinstance(result, Applied) and result.error is None:
+                self.roll_states[text.name] = "asked"
+                self._calendar.at(self._calendar.now + 300.0, self._read_roll, text)
+            elif tries < 10:
+                self._calendar.at(self._calendar.now + 300.0, self._ask_roll, text, tries + 1)
+            else:
+                self.roll_states[text.name] = "failed"
+
+        self._call(command, told)
+
+    def _read_roll(self, text: RollText) -> None:
+        def told(result: Any) -> None:
+            if isinstance(result, Applied) and result.error is None:
+                self.roll_states.update({one["roll"]: one["state"] for one in result.value
+                                         if one["roll"] == text.name})
+            if self.roll_states[text.name] not in ("done", "failed", "cancelled") and not self.world.over:
+                self._calendar.at(self._calendar.now + 500.0, self._read_roll, text)
+
+        self._call(RollsRead(id="lab/roll"), told)
+
+    def look(self) -> None:
+        """Watch what a wave has to wait for."""
+        if self.world.plan.rolls:
+            # Whoever a roll has ended is away by right: its copies are not what is missing.
+            whole = bool(self.away) or self.world.whole()
+            self.unwhole_since = math.inf if whole else min(self.unwhole_since, self._calendar.now)
+
+    def half_drained(self) -> list[str]:
+        """Gateways that turn clients away."""
+        return [name for name, side in self.sides.items() if side.paused_at < math.inf]
+
+    def rolled(self) -> bool:
+        """Whether all rolls have come to an end."""
+        return all(state in ("done", "failed", "cancelled") for state in self.roll_states.values())
+
+    def _roll(self, machine: Machine, side: Side, now: float) -> None:
+        true, rolled, keeper, node = self._calendar.now, side.rolled, side.keeper, machine.node
+        assert node is not None
+        keeper.grow, keeper.leaving = rolled.grow, rolled.lead_nothing
+        node.lead_nothing = rolled.lead_nothing
+        replicas = [one for one in node.replicas.values() if one.me in one.config.voters]
+        drained = rolled.paused and side.paused_at < true - FRONT_MS
+        rolled.tell(leads=sum(one.leading for one in replicas),
+                    trimmed=all(pool.open - pool.closing <= pool.need for pool in keeper.pools.values()),
+                    drained=drained, empty=not side.flights and keeper.empty,
+                    whole=all(one.leader for one in replicas))
+        for duty in rolled.duties(now):
+            if duty is Duty.PAUSE:
+                side.paused_at = true
+            elif duty is Duty.RESUME:
+                side.paused_at = math.inf
+            elif not side.leaving:
+                side.leaving = True
+                roll = str(rolled.record.get("roll"))
+                at = roll, machine.name
+                self.drained[at] = self.drained.get(at, 0) + 1
+                if self.drained[at] > 1:
+                    self.world.found("drained-twice", f"{machine.name} by {roll}")
+                self.away.add(machine.name)
+                if len(self.away) > max(text.at_once for text in self.world.plan.rolls):
+                    self.world.found("two-waves", f"{sorted(self.away)} by {roll}")
+                if true - self.unwhole_since > STALE_MS:
+                    self.world.found("wave-before-copies", f"{machine.name} ends, copies not whole since "
+                                                           f"{self.unwhole_since:.0f}")
+                self._leave(machine, side.life)
+
+    def _leave(self, machine: Machine, life: int) -> None:
+        def left(result: Any) -> None:
+            if machine.life == life:
+                self.world.kill(machine.name)
+                self._calendar.at(self._calendar.now + self.draw.uniform(*ACT_MS), self.world.start, machine.name)
+
+        self.world.leave(machine.name, left)
