--- a/fleet/floor.py
+++ b/fleet/floor.py
@@ -53,6 +53,7 @@
 QUEUE_MS = 150.0  # of a part: so much waits, as long as nothing is lacking
 MOST_WAITING = 1024
 PACED_MS = 30.0
+FOLLOW_MS = 500.0  # in which the contract follows its traffic, and nothing counts as short
 DUE_MS = 500.0  # of what is due and not granted, kept to tell units short from units beyond the contract
 NO_LEASE = "no lease"
 
@@ -149,7 +150,9 @@
     waiting: deque[tuple[float, float, Any]] = field(default_factory=deque)  # until when, units, token
     demand: _Demand = field(default_factory=_Demand)
     paced: float = -math.inf
-    due: float = 0.0
+    due: float = 0.0  # units that were due here and not granted
+    maybe: float = 0.0  # of these, asked for, since `lacking`
+    lacking: float = -math.inf  # when nothing was lacking last
     drawn: float = 0.0
     short: dict[str, float] = field(default_factory=dict)
     told: dict[str, float] = field(default_factory=dict)
@@ -181,12 +184,15 @@
         self.drawn += units
         return True
 
-    def lost(self, units: float, wall: float) -> None:
-        """A request found no room: short as far as more is due here than was granted, else beyond the contract."""
+    def lost(self, now: float, units: float, wall: float) -> None:
+        """A request found no room: short as far as more is due here than was granted for longer than the traffic takes
+        to be followed, else beyond the contract."""
         lost = min(units, self.due)
-        if lost > EDGE:
-            self.due -= lost
-            self.count(NO_LEASE, lost, wall)
+        self.due -= lost
+        self.maybe += lost
+        if now >= self.lacking + FOLLOW_MS and self.maybe > EDGE:
+            self.count(NO_LEASE, self.maybe, wall)
+            self.maybe = 0.0
 
     def count(self, cause: str, units: float, wall: float) -> None:
         """Units short."""
@@ -218,6 +224,8 @@
             self.due = 0.0
         else:
             lacking = max(self.fair - (self.part if now < self.ends else 0.0), 0.0)
+            if lacking <= SLIGHT * self.fair:
+                self.lacking, self.maybe = now, 0.0  # what was missed on the way is made up by the bucket
             self.due = min(self.due + lacking * (now - self.filled) / 1000.0, self.fair * DUE_MS / 1000.0)
         self.filled = now
         if now >= self.ends:
@@ -401,7 +409,7 @@
             if len(one.waiting) < MOST_WAITING and one.queued() + units <= max(most / 1000.0, units):
                 one.waiting.append((now + WAIT_MS, units, token))
                 return True
-            one.lost(units, wall)
+            one.lost(now, units, wall)
         return False
 
     def turns(self, now: float) -> list[tuple[Any, Reserved | None]]:
@@ -417,7 +425,7 @@
                     break
                 one.waiting.popleft()
                 if not drawn:
-                    one.lost(units, wall)
+                    one.lost(now, units, wall)
                 made.append((token, Reserved(one.contract, units, one.rank) if drawn else None))
         return made
 
