Tell a refutation again to whoever still believes the rumour

A member declared dead over a one-way cut refutes once; where that was lost and its rumour worn out, the others knocked with 'dead, count 0' for good and it never answered, as its count was past that. It now tells its own state again.

--- a/fleet/membership.py
+++ b/fleet/membership.py
@@ -275,7 +275,9 @@
         if name == name_of(self.me):
             if rumour.who != self.me:
                 self._told()  # whoever tells of an earlier Id has not heard of this one
-            elif rumour.state != ALIVE and rumour.count >= self.count and not self._left:
+            elif rumour.state != ALIVE and rumour.count < self.count:
+                self._told()  # what it was told in answer to that was lost on the way there
+            elif rumour.state != ALIVE and not self._left:
                 self.count = rumour.count + 1
                 self.health = min(self.health + 1, MOST_HEALTH)
                 self._told()
--- a/tests/test_fleet_membership.py
+++ b/tests/test_fleet_membership.py
@@ -658,3 +658,11 @@
     assert me.ids()["b"] == "b/"
     me.handle(me.due - 1.0, Received("b/9", Ack(ping.message.seq, "b/9", ())))
     assert me.ids()["b"] == "b/9" and me.alive() == {"a/1", "b/9"}
+
+
+def test_a_refutation_that_was_lost_is_told_again_whenever_somebody_still_believes_the_rumour() -> None:
+    me = Membership("b/1", "x", [Member("a", "x"), Member("b", "x")], TIMES, random.Random(1), 0.0)
+    for turn in range(60):  # also long after it was told often enough
+        answers: list[Any] = me.handle(10.0 + turn, Received("a/1", Ping(turn, "b/1", (Rumour("b/1", 2, 0, "a/1"),))))
+        ack = next(one.message for one in answers if isinstance(one, Send) and isinstance(one.message, Ack))
+        assert Rumour("b/1", 0, 1) in ack.gossip
