Open and use server links under leases where the fleet keeps their limits

Gateways divide each server's connections through the log, but their links dialled by a bound of their own.

--- a/badgeryoke/diameter/server_link.py
+++ b/badgeryoke/diameter/server_link.py
@@ -6,6 +6,7 @@
 import logging
 import zlib
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 from tornado.iostream import IOStream, StreamClosedError
 
@@ -15,6 +16,9 @@
 from badgeryoke.diameter.peer import Identity, Peer, State
 from badgeryoke.execution import Execution, Query
 
+if TYPE_CHECKING:
+    from badgeryoke.fleet.pools import Lease
+
 log = logging.getLogger("badgeryoke.diameter.server")
 
 SERVICE_CONTEXT = "load@badgeryoke"
@@ -185,8 +189,9 @@
 
     def __init__(self, address: tuple[str, int], loop: Turns, clock: Callable[[], float], *, me: Identity,
                  services: dict[str, int], connect_ms: float, idle_ms: float,
-                 watchdog_s: float) -> None:
+                 watchdog_s: float, lease: Lease | None = None) -> None:
         super().__init__(loop)
+        self.lease = lease  # where the fleet keeps the server's limit
         self.address, self.clock, self.me = address, clock, me
         self.services = services
         self._connect_ms, self._watchdog_s = connect_ms, watchdog_s
@@ -202,7 +207,8 @@
     def _start(self, execution: Execution) -> None:
         if self.draining:
             execution.lost("server is gone")
-        elif self._connection is not None and self._connection.state is State.OPEN:
+        elif self._connection is not None and self._connection.state is State.OPEN and (
+                self.lease is None or self.lease.held()):
             self._connection.post(self._connection.write, execution)
         elif len(self._waiting) >= MOST_OUT:
             execution.moot("too many attempts wait for the connection")
@@ -213,8 +219,10 @@
                 self._connect()
 
     def _connect(self) -> None:
+        if self.lease is not None and not self.lease.may_open():
+            return  # whoever waits has its time
         try:
-            stream, coming_up = dial(self.address, 4 * codec.MAX_MESSAGE)
+            stream, coming_up = (dial if self.lease is None else self.lease.dial)(self.address, 4 * codec.MAX_MESSAGE)
         except OSError as fault:
             self.complain(f"no socket: {fault}")
             waiting, self._waiting = self._waiting, []
@@ -255,6 +263,28 @@
             self._waiting.remove(execution)
             execution.lost("no connection in time")
 
+    @property
+    def need(self) -> int:
+        """See badgeryoke.fleet.pools.Link."""
+        return int(bool(self._waiting) or (self._connection is not None and bool(self._connection.out)))
+
+    def shrink(self, many: int, all_: bool) -> None:
+        """See badgeryoke.fleet.pools.Link."""
+        self.post(self._shrink, all_)
+
+    def _shrink(self, all_: bool) -> None:
+        connection = self._connection
+        if connection is not None and (all_ or not connection.out):
+            connection.stream.close()
+
+    def grown(self) -> None:
+        """See badgeryoke.fleet.pools.Link."""
+        self.post(self._grown)
+
+    def _grown(self) -> None:
+        if self._waiting and self._connection is None and not self.draining:
+            self._connect()
+
     def complain(self, words: str) -> None:
         """Log a server's fault once."""
         if not self._complained:
--- a/badgeryoke/fleet/calls.py
+++ b/badgeryoke/fleet/calls.py
@@ -25,7 +25,7 @@
 # What an operator may ask for; all others are the fleet's own, and would break its order.
 OPERATORS = frozenset({
     "Promise", "PromiseRead", "Capacity", "Propose", "Change", "CancelContract", "ContractsRead", "RollAsk",
-    "RollCancel", "RollResume", "RollRead", "Places", "Limit", "Unlimit"})
+    "RollCancel", "RollResume", "RollRead", "RollsRead", "Places", "Limit", "Unlimit"})
 ALSO = {"put": "promise", "get": "promiseread", "cancel": "cancelcontract", "read": "contractsread"}
 
 
--- a/badgeryoke/fleet/service.py
+++ b/badgeryoke/fleet/service.py
@@ -13,9 +13,10 @@
 import socket
 import time
 from collections.abc import Callable
+from dataclasses import replace
 from pathlib import Path
 from random import Random
-from typing import Any, Protocol
+from typing import TYPE_CHECKING, Any, Protocol
 
 from tornado.netutil import bind_sockets
 
@@ -47,6 +48,9 @@
 from fleet.node import ANY, Member, Node, Setup
 from fleet.part import Applied, Command
 
+if TYPE_CHECKING:
+    from badgeryoke.fleet.pools import Pools
+
 log = logging.getLogger("badgeryoke.fleet")
 
 MOST_CALLS = 1024  # under way at this member; more are refused
@@ -90,7 +94,8 @@
                  unix: Callable[[], float] = time.time) -> None:
         self.fleet, self.me = fleet, fleet.me or name
         self._make: MakeNode = make or Node
-        self._now = now
+        self._now = self.now = now
+        self.pools: Pools | None = None  # where the gateway has given its server links
         self._wall_less_now = unix() * 1000.0 - now()
         self._loop = asyncio.get_running_loop()
         self.rules = Invariants(strict=False, noted=self._noted)
@@ -155,12 +160,16 @@
         for fault in opened.faults:
             log.error("%s", fault)
         setup = setup_of(self.fleet, self.me, opened.incarnation)
+        if self.pools is not None:
+            setup = replace(setup, idle_ms=self.pools.idle_ms)
         self._force(opened, setup.id)
         self._writer = StoreWriter(opened, self._loop.call_soon_threadsafe, self._stored, self._store_broke)
         self.links = Links(self.fleet.name, setup.id, {one.name: address(one.address) for one in self.fleet.members},
                            self._received, self._link_error, Random(secrets.randbits(64)))
         self.node = self._make(setup, opened.saved, Random(secrets.randbits(64)), self._now(), self.wall(), self.rules)
         opened.saved = {}  # the node's own from here on
+        if self.pools is not None and isinstance(self.node, Node):
+            self.pools.begin(self.node, self.rules)
         self.links.listen(sockets)
         log.info("fleet %s: member %s, %d members, %d groups held", self.fleet.name, setup.id,
                  len(setup.members), len(opened._groups))
--- a/badgeryoke/resp/server_link.py
+++ b/badgeryoke/resp/server_link.py
@@ -14,6 +14,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 from tornado.iostream import IOStream, StreamClosedError
 
@@ -22,6 +23,9 @@
 from badgeryoke.relay import WINDOW, Relay, Room
 from badgeryoke.resp.parser import MAX_LONG, ErrorReply, Parser, Passed, Value, command, number, pairs
 
+if TYPE_CHECKING:
+    from badgeryoke.fleet.pools import Lease
+
 log = logging.getLogger("badgeryoke.resp.server")
 
 IDLE_PART = 0.5  # of the settings' idle time a connection is kept: the backend may close it sooner
@@ -112,7 +116,7 @@
         self.room = asyncio.Event()  # the relay takes more; while it does not, nothing is read
         self.paused = False
         self.parser = Parser(max_items=8, max_long=MAX_LONG)
-        self.stream, coming_up = dial(address, 256 * 1024)
+        self.stream, coming_up = (dial if owner.lease is None else owner.lease.dial)(address, 256 * 1024)
         on_close(self.stream, lambda: owner.post(owner.closed, self))
         self._task = asyncio.ensure_future(self._live(coming_up))
 
@@ -140,8 +144,10 @@
 
     def __init__(self, address: tuple[str, int], loop: Turns, clock: Callable[[], float], *,
                  report_names: tuple[str, ...], connect_ms: float, idle_ms: float,
-                 most: int, most_units: float = MOST_FIGURE, room: Room | None = None) -> None:
+                 most: int, most_units: float = MOST_FIGURE, room: Room | None = None,
+                 lease: Lease | None = None) -> None:
         super().__init__(loop)
+        self.lease = lease  # where the fleet keeps the server's limit: connections are opened and used under it alone
         self._room = room or Room(WINDOW)
         self.address = address
         self._most_units = most_units
@@ -186,6 +192,8 @@
         What lies unread in one belongs to no attempt: a second copy of the last answer would be taken for the
         next one, and at its end the attempt would be lost though it may have run.
         """
+        if self.lease is not None and not self.lease.held():
+            return None
         before = self._clock() - REST_MS
         while self._idle:
             place = next((n for n in reversed(range(len(self._idle))) if self._idle[n].used_at <= before), 0)
@@ -205,7 +213,9 @@
 
     def _open(self) -> None:
         """As many connections as there are attempts waiting, within the bounds."""
-        while self._opening < min(len(self._waiting), MOST_OPENING) and len(self._all) < self._most:
+        lease = self.lease
+        while (self._opening < min(len(self._waiting), MOST_OPENING) and len(self._all) < self._most
+               and (lease is None or lease.may_open())):
             try:
                 connection = _Connection(self, self.address)
             except OSError as fault:
@@ -236,7 +246,10 @@
 
     def _free(self, connection: _Connection) -> None:
         """Put a connection to the next use: an attempt that waits, or the pool."""
-        if self._closed:
+        lease = self.lease
+        if self._closed or (lease is not None and lease.surplus > 0):
+            if lease is not None:
+                lease.surplus -= 1
             connection.stream.close()
             return
         connection.used_at = self._clock()
@@ -395,6 +408,28 @@
             self._idle.remove(connection)
             connection.stream.close()
 
+    @property
+    def need(self) -> int:
+        """See badgeryoke.fleet.pools.Link."""
+        return len(self._all) - len(self._idle) - self._opening + len(self._waiting)
+
+    def shrink(self, many: int, all_: bool) -> None:
+        """See badgeryoke.fleet.pools.Link."""
+        self.post(self._shrink, many, all_)
+
+    def _shrink(self, many: int, all_: bool) -> None:
+        busy = [one for one in self._all if one not in self._idle] if all_ else []
+        for connection in [*self._idle, *busy][:many]:  # the longest idle first
+            if connection in self._idle:
+                self._idle.remove(connection)
+            if self.lease is not None:
+                self.lease.surplus -= 1
+            connection.stream.close()
+
+    def grown(self) -> None:
+        """See badgeryoke.fleet.pools.Link."""
+        self.post(self._open)
+
     def drain(self) -> None:
         """The backend wants nothing new: what is written is waited for, nothing more is written."""
         self.post(self._drain_now)
--- a/lab/stage/fleet.py
+++ b/lab/stage/fleet.py
@@ -148,8 +148,9 @@
             return
         said = ""
         while self.roll_state not in ("done", "failed", "cancelled"):
-            value, error = await self.call("RollRead", id="lab/read", roll=text.name)
-            if not error:
+            known, error = await self.call("RollsRead", id="lab/read")
+            value = next((one for one in known or () if one["roll"] == text.name), None)
+            if not error and value is not None:
                 self.roll_state = value["state"]
                 now = json.dumps([value["state"], value.get("why"), value.get("gateways")], sort_keys=True)
                 if now != said:
