--- a/badgeryoke/fleet/pools.py
+++ b/badgeryoke/fleet/pools.py
@@ -135,8 +135,10 @@
         self._node: Node | None = None
         self._timer: asyncio.TimerHandle | None = None
 
-    def begin(self, node: Node, rules: Invariants) -> None:
-        """The node is there, and with it the lock on the member's folder."""
+    def begin(self, node: object, rules: Invariants) -> None:
+        """The node is there, and with it the lock on the member's folder.  One that is only driven has no leases."""
+        if not isinstance(node, Node):
+            return
         boot = BOOT.read_text().strip() if BOOT.exists() else ""
         me = process(node.me, boot, secrets.token_hex(6))
         self.keeper = Keeper(me, node.setup.timings, rules, self.now(), self.alone)
--- a/badgeryoke/fleet/service.py
+++ b/badgeryoke/fleet/service.py
@@ -42,6 +42,7 @@
     Stored,
     Tick,
 )
+from fleet.floor import Floor
 from fleet.groups import forced
 from fleet.invariants import Invariants, Rule
 from fleet.messages import AnyMessage, Id
@@ -96,6 +97,8 @@
         self._make: MakeNode = make or Node
         self._now = self.now = now
         self.pools: Pools | None = None  # where the gateway has given its server links
+        self.floor: Floor | None = None  # this gateway's parts of contracts, from when the node is made
+        self.on_floor: Callable[[Floor, Callable[[], float]], None] | None = None  # told of it, and of its clock
         self._wall_less_now = unix() * 1000.0 - now()
         self._loop = asyncio.get_running_loop()
         self.rules = Invariants(strict=False, noted=self._noted)
@@ -168,8 +171,14 @@
                            self._received, self._link_error, Random(secrets.randbits(64)))
         self.node = self._make(setup, opened.saved, Random(secrets.randbits(64)), self._now(), self.wall(), self.rules)
         opened.saved = {}  # the node's own from here on
-        if self.pools is not None and isinstance(self.node, Node):
+        if self.pools is not None:
             self.pools.begin(self.node, self.rules)
+        if isinstance(self.node, Node):
+            hall = next(one.hall for one in setup.members if one.name == setup.me)
+            self.floor = Floor(setup.id, secrets.token_hex(4), setup.timings, hall, len(setup.members))
+            self.node.holders.append(self.floor)
+            if self.on_floor is not None:
+                self.on_floor(self.floor, self.now)
         self.links.listen(sockets)
         log.info("fleet %s: member %s, %d members, %d groups held", self.fleet.name, setup.id,
                  len(setup.members), len(opened._groups))
