--- a/lab/stage/promises.py
+++ b/lab/stage/promises.py
@@ -80,6 +80,7 @@
     longest_ms: float = 0.0
     longest_at: float = 0.0
     waits: list[float] = field(default_factory=list)
+    errors: Counter[str] = field(default_factory=Counter)  # of single calls, by member and code
     _open: dict[str, dict[str, float]] = field(default_factory=dict)  # by group: those under way, since when
     _last: dict[str, float] = field(default_factory=dict)  # by group: the last acknowledgement
 
@@ -136,7 +137,7 @@
         waits = sorted(self.waits)
         return {"made": self.made, "held_back": self.held_back, "refused": dict(sorted(self.refused.items())),
                 "unknown": len(self.unknown), "unread": len(self.unread),
-                "longest_at_ms": round(self.longest_at, 1),
+                "errors": dict(sorted(self.errors.items())), "longest_at_ms": round(self.longest_at, 1),
                 **{f"wait_p{part}_ms": round(waits[len(waits) * part // 100], 2) for part in (50, 99) if waits}}
 
 
@@ -149,6 +150,14 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self.asking = True
 
+    async def call(self, call: str, fields: dict[str, Any]) -> Answer:
+        """One call at a random member."""
+        member = self._rng.randrange(len(self._addresses))
+        answer = await fleet_call(self._addresses[member], call, fields)
+        if answer[1]:
+            self.book.errors[f"g{member + 1} {answer[1]}"] += 1
+        return answer
+
     async def run(self) -> None:
         """Until `asking` is taken away; then what is under way is seen to its end."""
         loop = asyncio.get_running_loop()
@@ -171,8 +180,7 @@
         answer: Answer = None, UNKNOWN
         maybe = False
         for _ in range(MOST_TRIES):
-            answer = await fleet_call(self._rng.choice(self._addresses), "Promise",
-                                      {"id": f"lab/{name}", "name": name, "value": value})
+            answer = await self.call("Promise", {"id": f"lab/{name}", "name": name, "value": value})
             if answer[1] not in AGAIN:
                 break
             maybe = maybe or answer[1] == UNKNOWN
@@ -190,8 +198,7 @@
             while names:
                 name, answer = names.pop(), (None, UNKNOWN)
                 while answer[1] and loop.time() < until:
-                    answer = await fleet_call(self._rng.choice(self._addresses), "PromiseRead",
-                                              {"id": f"read/{name}", "name": name})
+                    answer = await self.call("PromiseRead", {"name": name})
                     if answer[1]:
                         await asyncio.sleep(AGAIN_S)
                 self.book.read(name, answer)
