--- a/tests/test_fleet_service.py
+++ b/tests/test_fleet_service.py
@@ -179,6 +179,7 @@
     """In the node's place: notes events, and does what a test lays out."""
 
     def __init__(self, *told: Any) -> None:
+        self.holders: list[Any] = []
         self.setup, self.saved, _, self.began, _, self.rules = told
         self.events: list[Any] = []
         self.due = math.inf
