Hand the gateway's parts of contracts from the fleet's node to its core

The stakes are a holder of the node from the moment it is made, under the member's id and a process id drawn at each start; the core is told of them then, with the fleet's clock.

--- a/badgeryoke/fleet/service.py
+++ b/badgeryoke/fleet/service.py
@@ -173,10 +173,10 @@
         opened.saved = {}  # the node's own from here on
         if self.pools is not None:
             self.pools.begin(self.node, self.rules)
-        if isinstance(self.node, Node):
+        if isinstance(holders := getattr(self.node, "holders", None), list):  # a node that is only driven has none
             hall = next(one.hall for one in setup.members if one.name == setup.me)
             self.floor = Floor(setup.id, secrets.token_hex(4), setup.timings, hall, len(setup.members))
-            self.node.holders.append(self.floor)
+            holders.append(self.floor)
             if self.on_floor is not None:
                 self.on_floor(self.floor, self.now)
         self.links.listen(sockets)
--- a/badgeryoke/gateway.py
+++ b/badgeryoke/gateway.py
@@ -123,6 +123,7 @@
             longest_ms = max((cls.deadline_ms for cls in self._config.settings.classes), default=0.0)
             self._pools = self.fleet.pools = Pools(self._config.operators.fleet, self._loop, self.fleet.now,
                                                    self._config.idle_ms + longest_ms, self)
+            self.fleet.on_floor = self.core.guarantee
             self.fleet.start()
         if self._counter is not None:
             self._counter.open()
--- a/tests/test_reserved.py
+++ b/tests/test_reserved.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 from dataclasses import replace
+from pathlib import Path
 from typing import Any
 
 import pytest
@@ -11,13 +13,17 @@
 from badgeryoke.actor import Turns
 from badgeryoke.core import Core, Refused, Served
 from badgeryoke.execution import Query
+from badgeryoke.fleet.service import Service
 from fleet.floor import Reserved
+from fleet.node import Node
 from martenstep import decide, reserved
 from martenstep import interface as api
 from martenstep.watch.guarded import Guarded
 from tests import helpers
 from tests.helpers import START, only
 from tests.test_core import AIM, Bench, NoCounter
+from tests.test_fleet_service import section
+from tests.test_service import until
 
 
 def module(servers: int = 4, **changes: object) -> reserved.Gateway:
@@ -295,3 +301,15 @@
     bench.core.submit(Query("x", "balance-check", "free", 5, 2000.0, 1.0, 1), bench.answers.append)
     bench.loop.run()
     assert bench.link.executions
+
+
+def test_the_fleets_part_hands_its_stakes_to_the_core(tmp_path: Path) -> None:
+    async def test() -> None:
+        made, told = Service(section(tmp_path), "a"), list[Any]()
+        made.on_floor = lambda floor, now: told.extend((floor, now))
+        made.start()
+        await until(lambda: bool(told))
+        assert isinstance(made.node, Node) and told == [made.floor, made.now] and made.floor in made.node.holders
+        made.close()
+
+    asyncio.run(asyncio.wait_for(test(), 20))
