Knock at the dead by their name, so that those who lost all they knew find each other

After the three founders had lost their disks in turn, the last newcomer knew only the founding's Ids and the others only its lost one; messages to an Id reach that Id or nobody, so all knocked past each other for good, and two of three groups stayed a copy short.

--- a/fleet/membership.py
+++ b/fleet/membership.py
@@ -435,7 +435,10 @@
         end = max(self._times.probe_ms * stretch, min(3 * took, PATIENCE * self._times.probe_ms))
         _bound(self._probes)
         self._probes[seq] = _Probe(peer.name, now, now + min(wait, end), now + end, over=knock)
-        out.append(Send(peer.id, Ping(seq, peer.id, self._gossip(peer.name))))
+        # Who is taken for dead is knocked at by its name: another Id may live there now, and where all that this one knew
+        # were lost in turn, no third is left to tell of it.
+        to = peer.name + "/" if knock else peer.id
+        out.append(Send(to, Ping(seq, to, self._gossip(peer.name))))
 
     def _some(self, but: str, count: int) -> list[_Peer]:
         found = [one for one in self._peers.values() if one.state == ALIVE and one.known and one.name != but]
--- a/tests/test_fleet_membership.py
+++ b/tests/test_fleet_membership.py
@@ -666,3 +666,20 @@
         answers: list[Any] = me.handle(10.0 + turn, Received("a/1", Ping(turn, "b/1", (Rumour("b/1", 2, 0, "a/1"),))))
         ack = next(one.message for one in answers if isinstance(one, Send) and isinstance(one.message, Ack))
         assert Rumour("b/1", 0, 1) in ack.gossip
+
+
+def test_two_that_know_only_each_others_lost_ids_find_each_other() -> None:
+    """After all founders were lost in turn a newcomer knows none of those that live, nor they it."""
+    made = {f"{name}/2": Membership(f"{name}/2", "x", [Member("a", "x"), Member("b", "x")], TIMES,
+                                    random.Random(1), 0.0) for name in "ab"}
+    for me in made.values():
+        me.know(0.0, ["a/1", "b/1"])
+    for now in range(0, 60_000, 25):
+        for who, me in made.items():
+            for one in me.handle(float(now), Tick()) if me.due <= now else ():
+                other = "b/2" if who == "a/2" else "a/2"
+                if isinstance(one, Send) and one.to in (other, name_of(other) + "/"):  # to that Id, or nobody
+                    for answer in made[other].handle(float(now), Received(who, one.message)):
+                        if isinstance(answer, Send):
+                            me.handle(float(now), Received(other, answer.message))
+    assert made["a/2"].alive() == made["b/2"].alive() == {"a/2", "b/2"}
