Look at a node's timers when one is due, not at each event

Each message looked through all replicas, calls and timers: a third of a node's own time under load. The next moment is now kept as events move it, and all timers are looked at when it has come.

--- a/fleet/node.py
+++ b/fleet/node.py
@@ -174,6 +174,7 @@
                 effects += self._ours.pop(effect.token, _nobody)(now, effect.result)
             else:
                 effects.append(effect)
+        self.due = min(self.due, replica.due)  # what has become later costs one Tick that does nothing
         if self.rules.count != broken and not isinstance(event, StoreBroke):
             rule, facts = self.rules.broken[-1]
             error = InvariantBroken(group, f"{rule.name}: {facts}")
@@ -199,6 +200,7 @@
                 if isinstance(message, Ping | Ack) and message.wall > 0.0:
                     self._clocks(sender, message.wall - raw)
                 effects += self._gossip(raw, self.membership.handle(now, event))
+                self.due = min(self.due, self.membership.due)
             case Received(message=WhoAreYou() | IAm() | Found()):
                 effects += self._founded(now, event)
             case Stored(group=group):
@@ -222,7 +224,8 @@
                         effects += self._feed(now, group, HandOver())
             case Tick():
                 pass
-        effects += self._tick(now, raw, raw + self.ahead)
+        if isinstance(event, Tick) or now >= self.due or self._leaving is not None:
+            effects += self._tick(now, raw, raw + self.ahead)
         return effects
 
     def _clocks(self, sender: Id, ahead: float) -> None:
@@ -246,6 +249,7 @@
     def _founded(self, now: float, event: Tick | Received | Stored | StoreBroke) -> list[Effect]:
         known = self.founding.record
         effects: list[Effect] = list(self.founding.handle(now, event))
+        self.due = min(self.due, self.founding.due)
         if known is None and self.founding.record is not None:
             self._open(now)
         return effects
@@ -278,7 +282,7 @@
                 self._places_at = now + PLACES_MS
                 effects += self._read_places(now, wall)
         if self._poll_at <= now:
-            self._poll_at = now + POLL_MS
+            self._poll_at = now + (POLL_MS if self.holders else 10 * POLL_MS)
             if self.founding.record is not None:
                 for holder in self.holders:
                     for command in holder.poll(now, wall):
@@ -320,6 +324,7 @@
         group = group_of(command.key(), self.founding.record.groups)
         token = self._token()
         call = self._calls[token] = _Call(command, group, now + self._timings.call_ms, answer, now)
+        self.due = min(self.due, now + PAUSE_MS)
         return self._try(now, wall, token, call)
 
     def _try(self, now: float, wall: float, token: str, call: _Call) -> list[Effect]:
@@ -381,6 +386,7 @@
             call.maybe = call.maybe or isinstance(result, UnknownOutcome)
             if call.open == 0:
                 call.again = now + PAUSE_MS * self._draw.uniform(0.5, 1.5)
+                self.due = min(self.due, call.again)
             return []
         del self._calls[token]
         return call.answer(now, self._final(call, result))
@@ -537,7 +543,8 @@
 
         def changed(at: float, result: Any) -> list[Effect]:
             self._changing.pop(group, None)
-            self._places_at = min(self._places_at, at + SOON_MS)  # the next step does not wait for its turn
+            # The next step does not wait for its turn.
+            self._places_at = self._work_at = min(self._places_at, at + SOON_MS)
             return []
 
         self._ours[token] = changed
