Show on sockets that pools keep to their leases, whatever is cut off, frozen or abandoned

Two gateways before a server that holds four connections, one cut off and mended, while parts move; an abandoned connection counted until the server lets go; one that never came up; Diameter; a roll's duties.

--- /dev/null
+++ b/tests/test_fleet_pools.py
@@ -0,0 +1,305 @@
+"""Server links under leases, on real sockets: the group that grants stands in the test, the pools are the gateway's."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import time
+from collections.abc import AsyncIterator, Callable
+from dataclasses import replace
+from pathlib import Path
+from random import Random
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+
+from badgeryoke.actor import Turns
+from badgeryoke.diameter.peer import Identity
+from badgeryoke.diameter.server_link import DiameterServerLink
+from badgeryoke.execution import End, Execution, Query
+from badgeryoke.fleet.pools import Pools
+from badgeryoke.fleet.service import boot_ms
+from badgeryoke.fleet.settings import Fleet, Servers
+from badgeryoke.operators import Operators
+from badgeryoke.resp.server_link import RespServerLink
+from fleet.connections import Connections, Limit
+from fleet.errors import NoLeader
+from fleet.invariants import Invariants
+from fleet.node import Member, Node, Setup
+from fleet.part import Applied, View
+from fleet.rollout import RollRead
+from fleet.timings import Timings
+from martenstep.interface import Verdict
+from tests.standins import HOST, Backend, DiameterServer, Discovery, config, connect, entry, gateway, query, roster
+from tests.test_fleet_service import section
+from tests.test_front import play
+
+TIMINGS = Timings(lease_ms=120.0, heartbeat_ms=10.0, election_ms=50.0)  # 600 ms for connections
+IDLE_MS, MOST = 200.0, 4
+
+
+class Gate:
+    """One gateway's pools before one server; in the gateway's place for a roll."""
+
+    def __init__(self, name: str, port: int, group: Group, diameter: bool = False) -> None:
+        self.name, self.group = name, group
+        self.loop, self.rules = Turns(asyncio.get_running_loop()), Invariants()
+        self.did: list[str] = []
+        self.drained, self.unanswered = False, 0
+        fleet = Fleet(servers=Servers(connections=MOST))
+        self.pools = Pools(fleet, self.loop, boot_ms, IDLE_MS, self)
+        setup = Setup("f", name, "1", (Member(name, "h"),), timings=TIMINGS)
+        self.node = Node(setup, {}, Random(1), 0.0, 0.0, self.rules)
+        self.lease = lease = self.pools.lease("s")
+        assert lease is not None
+        self.link: Any = DiameterServerLink(
+            (HOST, port), self.loop, boot_ms, me=Identity("g", "r", HOST, 1), services={}, connect_ms=100.0,
+            idle_ms=30_000.0, watchdog_s=30.0, lease=lease) if diameter else RespServerLink(
+            (HOST, port), self.loop, boot_ms, report_names=(), connect_ms=100.0, idle_ms=30_000.0, most=16, lease=lease)
+        lease.link = self.link
+        self.ends: list[End] = []
+        self.asking = 0
+        group.gates.append(self)
+
+    def pause(self) -> str:
+        self.did.append("pause")
+        return ""
+
+    def resume(self) -> str:
+        self.did.append("resume")
+        return ""
+
+    def end(self) -> None:
+        self.did.append("end")
+
+    @property
+    def open(self) -> int:
+        keeper = self.pools.keeper
+        return keeper.pools["s"].open if keeper is not None and "s" in keeper.pools else 0
+
+    def ask(self, deadline_ms: float = 1000.0) -> Execution:
+        """One attempt."""
+        now = boot_ms()
+        made = Execution(Query(f"{len(self.ends):016x}", "c", "p", ord(self.name), deadline_ms, 1.0, 1, safe=True), 0, 1,
+                         now, now + deadline_ms, self.ended)
+        self.link.start(made)
+        return made
+
+    def ended(self, execution: Execution, end: End) -> None:
+        self.ends.append(end)
+        if self.asking > 0:  # as many are always under way
+            self.loop.call_later(0.002, self.ask)
+
+
+class Group:
+    """Grants, in the place of the group that holds the server's limit; who is in `cut` gets no answer."""
+
+    def __init__(self) -> None:
+        self.gates: list[Gate] = []
+        self.cut: set[str] = set()
+        self.part = Connections(Invariants(), TIMINGS)
+        self.part.apply(0.0, Limit(id="l", server="s", most=MOST, idle_ms=IDLE_MS))
+
+    async def run(self) -> None:
+        while True:
+            now = boot_ms()
+            for gate in self.gates:
+                if gate.pools.keeper is not None:
+                    for command in gate.pools.poll(now, now):
+                        gate.pools.answered(boot_ms(), command, NoLeader("g0", "cut off") if gate.name in self.cut
+                                            else self.part.apply(now, command))
+            for command in self.part.work(View(now, now, "g", 0.0, TIMINGS, frozenset(), {}, {}, {}, {}, {})):
+                self.part.apply(now, command)
+            await asyncio.sleep(0.005)
+
+
+class Counted(Backend):
+    """Answers after a while, and counts what is open, by gateway."""
+
+    def __init__(self, deaf: bool = False) -> None:
+        super().__init__()
+        self.most = 0
+        self.by: dict[asyncio.StreamReader, str] = {}
+        self.deaf = deaf  # it does not heed the other side's end
+        self.release = asyncio.Event()
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.by[reader] = ""
+        self.most = max(self.most, len(self.by))
+        try:
+            while (head := await reader.read(4096)):
+                self.by[reader] = chr(int(head.split(b"\r\n")[4], 16))
+                if not self.deaf:
+                    await asyncio.sleep(0.004)
+                    writer.write(b"*1\r\n$2\r\nok\r\n")
+            if self.deaf:
+                await self.release.wait()
+        finally:
+            del self.by[reader]
+
+    def held(self, name: str) -> int:
+        return sum(one == name for one in self.by.values())
+
+
+@contextlib.asynccontextmanager
+async def gates(server: Any, *names: str, diameter: bool = False) -> AsyncIterator[Any]:
+    group = Group()
+    made = [Gate(name, server.port, group, diameter) for name in names]
+    for gate in made:
+        gate.pools.begin(gate.node, gate.rules)
+    task = asyncio.ensure_future(group.run())
+    try:
+        yield group, *made
+    finally:
+        task.cancel()
+        for gate in made:
+            gate.asking = 0
+            gate.pools.close()
+
+
+def busy(gate: Gate, count: int) -> None:
+    gate.asking = count
+    for _ in range(count):
+        gate.ask()
+
+
+async def soon(true: Callable[[], Any]) -> None:
+    while not true():
+        await asyncio.sleep(0.002)
+
+
+def test_two_gateways_never_have_more_open_than_the_server_holds() -> None:
+    async def test() -> None:
+        async with Counted() as server, gates(server, "a", "b") as (group, a, b):
+            busy(a, 6)
+            await soon(lambda: server.held("a") == MOST)  # all of it while nobody else asks
+            busy(b, 6)
+            await soon(lambda: server.held("a") == server.held("b") == 2)  # half of it has moved
+            group.cut.add("a")
+            await soon(lambda: a.open == 0)  # its lease has ended: it closed by itself ...
+            assert server.held("a") == 0
+            lost = len(a.ends)
+            await soon(lambda: server.held("b") == MOST)  # ... and later, the other has its part
+            await soon(lambda: len(a.ends) > lost + 6)  # without a lease each attempt fails in its time
+            assert server.held("a") == 0
+            group.cut.clear()
+            await soon(lambda: server.held("a") == server.held("b") == 2)
+            assert server.most == MOST and not a.rules.count and not b.rules.count
+
+    play(test)
+
+
+def test_without_a_lease_nothing_is_opened_and_each_query_is_answered_by_its_deadline(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with Backend() as node, Discovery(entry("s", node.port)) as list_:
+            operators = Operators(fleet=section(tmp_path, servers=Servers(connections=MOST)))
+            made = replace(config(list_.port, None, roster(entry("s", node.port))), name="a", operators=operators)
+            async with gateway(made, lambda: time.time() * 1000.0) as app:
+                reader, writer = await connect(app.address)
+                writer.write(query("r1", d=300, plan="free"))
+                assert (await reader.readline())[:1] == b"-"  # the fleet has no majority here
+                assert node.connections == 0
+                writer.close()
+
+    play(test)
+
+
+@pytest.mark.parametrize("deaf", [False, True])
+def test_an_abandoned_connection_counts_until_the_server_has_let_go(deaf: bool) -> None:
+    async def test() -> None:
+        async with Counted(deaf) as server, gates(server, "a") as (_, a):
+            server.deaf = True  # no answer
+            attempt = a.ask()
+            await soon(lambda: server.held("a"))
+            server.deaf = deaf
+            begun = boot_ms()
+            attempt.abandon(Verdict.CANCELLED)
+            await soon(lambda: len(a.link._all) == 0)
+            if deaf:
+                assert (a.open, server.held("a")) == (1, 1)
+            await soon(lambda: a.open == 0)
+            assert not deaf or boot_ms() - begun >= IDLE_MS
+            assert len(server.by) == int(deaf)
+            server.release.set()
+
+    play(test)
+
+
+def test_a_connection_that_never_came_up_counts_no_longer_than_its_attempt() -> None:
+    async def test() -> None:
+        with socket.socket() as full:  # nobody takes what is in its queue, and no more gets in
+            full.bind((HOST, 0))
+            full.listen(0)
+            port = full.getsockname()[1]
+            with socket.create_connection((HOST, port)):
+                async with gates(SimpleNamespace(port=port), "a") as (_, a):
+                    a.pools.idle_ms = 1e7
+                    a.ask()
+                    await soon(lambda: a.open == 1)
+                    await soon(lambda: a.ends and a.open == 0)
+
+    play(test)
+
+
+def test_a_diameter_server_is_reached_under_a_lease_alone() -> None:
+    async def test() -> None:
+        async with DiameterServer() as server, gates(server, "a", diameter=True) as (group, a):
+            a.ask()
+            await soon(lambda: a.ends)
+            assert (a.ends[0].verdict.name, a.open, server.connections) == ("OK", 1, 1)
+            group.cut.add("a")
+            await soon(lambda: a.open == 0)
+            a.ask()
+            await soon(lambda: len(a.ends) == 2)
+            assert a.ends[1].verdict.name == "CONNECT_FAILED" and server.connections == 1
+
+    play(test)
+
+
+@pytest.mark.parametrize("diameter", [False, True])
+def test_a_process_that_was_frozen_past_its_lease_writes_nothing_on_what_is_open(diameter: bool) -> None:
+    async def test() -> None:
+        async with (DiameterServer() if diameter else Counted()) as server, gates(
+                server, "a", diameter=diameter) as (_, a):
+            a.ask()
+            await soon(lambda: a.ends)
+            a.pools.now = lambda: boot_ms() + 1e5
+            a.ask()  # before anything else could look
+            await soon(lambda: len(a.ends) == 2)
+            assert a.ends[1].verdict is Verdict.CONNECT_FAILED
+
+    play(test)
+
+
+def test_a_roll_pauses_gives_back_resumes_and_ends_the_gateway() -> None:
+    async def test() -> None:
+        async with Counted() as server, gates(server, "a") as (_, a):
+            a.ask()
+            await soon(lambda: a.ends)
+            rolled = a.pools.rolled
+
+            def stands(stand: str, **more: Any) -> None:
+                (read,) = [one for one in rolled.poll(boot_ms() + 1e6, 0.0) if isinstance(one, RollRead)]
+                rolled.answered(boot_ms(), read, Applied({
+                    "roll": "r", "stand": stand, "round": 1, "told": "", "process": rolled.process, "read_ms": 0.0,
+                    "grow": 1.0, **more}))
+
+            assert a.open == 1  # idle, and kept
+            stands("GRANTING", told="ready")
+            await soon(lambda: a.open == 0 and a.pools.empty)
+            assert a.node.lead_nothing and not a.did
+            stands("PAUSING", told="paused")
+            await soon(lambda: a.did == ["pause"])
+            a.drained = True
+            a.link.retune((), 1000.0, 30_000.0, 1.0)
+            a.ask()  # a client that did not hear: it is served still, and the connection given back
+            await soon(lambda: len(a.ends) == 2 and a.pools.empty)
+            assert a.ends[1].verdict.name == "OK"
+            stands("UNDOING", told="resumed")
+            await soon(lambda: a.did == ["pause", "resume"] and not a.node.lead_nothing)
+            stands("ACTING", told="x")
+            await soon(lambda: a.did == ["pause", "resume", "pause", "end"])
+
+    play(test)
