--- a/lab/stage/process.py
+++ b/lab/stage/process.py
@@ -55,6 +55,8 @@
         watch = "true" if scenario.watch else "false"
         (self._folder / "deploy" / "badgeryoke.toml").write_text(f"[counter_watch]\nenabled = {watch}\n{fleet}")
         self.store = self._folder / STORE
+        self.wipe()  # of a run before in the same folder
+        (self._folder / "log").unlink(missing_ok=True)
         self._mgmt = mgmt
         self._config = self._folder / "config.json"
         self._listen, self._agent = f"{listen[0]}:{listen[1]}", f"127.0.0.1:{agent}"
