--- a/fleet/membership.py
+++ b/fleet/membership.py
@@ -435,7 +435,7 @@
         end = max(self._times.probe_ms * stretch, min(3 * took, PATIENCE * self._times.probe_ms))
         _bound(self._probes)
         self._probes[seq] = _Probe(peer.name, now, now + min(wait, end), now + end, over=knock)
-        # Who is taken for dead is knocked at by its name: another Id may live there now, and where all that this one knew
+        # Who is taken for dead is knocked at by its name: another Id may live there now; where all that this one knew
         # were lost in turn, no third is left to tell of it.
         to = peer.name + "/" if knock else peer.id
         out.append(Send(to, Ping(seq, to, self._gossip(peer.name))))
