Open a silent watch anew at once, apart from the back-off, and ask a new address out of a pause

Seen: after 20 s of 503 at 200 gateways a watch that fell silent was given up 6 s after its call, and the next try went by the back-off that the 503 had left, up to 7.5 s off: the last gateway heard what it had missed after 11.6 s, where it counts as told after 6. After a retry that stayed silent, 6 s more were waited. A SIGHUP that moved discovery waited for the end of a pause. Ruled out: reading an indented list (it is read), the 200 ms between two calls of a watch. At fault: WAIT_MS, HostGroup.pause (one back-off for silence and for 503), the sleep in HostGroup._watch, and the call on a new connection, which waited as long as any.

Change: a watch waits 3 s; silence has a count of its own (0.25 s, 0.38 s, then 0.5 to 1.5 times 0.005 s x G, from 0.1 to 1 s); the first call on a new connection waits 0.1 s; a move and an end wake from a pause. 503, refusals and malformed answers keep the fleet's back-off, its longest at 3.6 s, so that 1.5 times that stays under 6.

--- a/badgeryoke/host_group.py
+++ b/badgeryoke/host_group.py
@@ -1,8 +1,16 @@
-"""Discovery's list of servers, kept by a watch: an actor of its own."""
+"""Discovery's list of servers, kept by a watch: an actor of its own.
+
+The clock it is kept by (protocol page, "Figures"): what a watch misses counts as told 6 s after it fell silent, or
+2 s after the wait of its call if that is later; all else after 6 s; what an agent has, at once; after SIGHUP, 4 s
+later.  Silence tells that this watch is broken: another is opened at once.  A status, a refused or lost connection
+and a malformed answer may tell that more ask than discovery has room for: the fleet's back-off.  What follows for
+each fault and size of fleet: docs/design/fleet.md, "The list's clock".
+"""
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import math
 from collections.abc import Callable
@@ -18,7 +26,9 @@
 log = logging.getLogger("badgeryoke.host_group")
 
 PATH = "/api/targets"
-WAIT_MS = 5000  # how long a watch may wait: short, so that a watch that has died in silence is soon found out
+# How long a watch may wait: short, so that one that has died in silence is found out 2 s before the clock runs out.
+WAIT_MS = 3000
+PROBE_MS = 100  # the same on a new connection: its first answer tells that somebody is there
 SILENT_S = 1.0  # no answer for this long after that: the connection is given up
 WHOLE_S = 2.0  # for an answer to the first call, which need not wait for anything
 # The agent answers at once unless discovery is down: only after this is the list known at the start gone by.
@@ -27,7 +37,11 @@
 BACK_OFF_S = (0.02, 0.15)  # before the next connection: at first, and at most where gateways are few
 # Discovery is one service for all gateways: what all of them ask again in a second must not grow with them.
 EACH_S = 0.05  # of the longest back-off, for each gateway of the fleet
-LONGEST_S = 5.0  # and no longer: half of the time after which what is listed counts as told
+LONGEST_S = 3.6  # and no longer: times a half to one and a half, it stays under the 6 s of the clock
+# After silence.  A round of all gateways is no more than one change of the list brings; an outage silences all of
+# them for seconds, and they then ask again 0.48 times a second each at 200 gateways: 95 calls a second in all.
+AGAIN_S = 0.25  # the first try lies anywhere in this time, the second about so long after it
+SILENT_EACH_S, SILENT_S_MOST = 0.005, (0.1, 1.0)  # then for each gateway of the fleet, and its bounds
 MAX_HEAD, MAX_BODY = 16 * 1024, 4 * 1024 * 1024
 STATES = {"active": State.UP, "leaving": State.DRAINING, "left": State.GONE}
 
@@ -162,6 +176,8 @@
         super().__init__(loop)
         self._address, self._known, self._changed = address, known, changed
         self._back_off, self._draw = BACK_OFF_S[0], draw
+        self._silences = 0  # one behind another, since the last answer
+        self._wake = asyncio.Event()  # ends a pause
         self.retune(gateways)
         self._numbers: dict[str, int] = {}  # the module's ids are numbers
         self._last = 0
@@ -196,17 +212,20 @@
     def retune(self, gateways: int) -> None:
         """The fleet has so many gateways: what all of them ask is this one's part."""
         self.longest = min(max(BACK_OFF_S[1], EACH_S * gateways), LONGEST_S)
+        self._silent_pause = min(max(SILENT_S_MOST[0], SILENT_EACH_S * gateways), SILENT_S_MOST[1])
         self._back_off = min(self._back_off, self.longest)
 
     def move(self, address: tuple[str, int]) -> None:
         """Discovery is at another address: ask there for the whole list; until then the old one stands."""
         if address != self._address:
             self._address, self._version = address, None
+            self._wake.set()  # it may be in a pause of seconds
             if self._stream is not None:
                 self._stream.close()
 
     def stop(self) -> None:
         self._stopped = True
+        self._wake.set()
         if self._stream is not None:
             self._stream.close()
 
@@ -233,10 +252,12 @@
     async def _watch(self) -> None:
         """Call, take in the answer, call again at once; connect anew after a fault."""
         while not self._stopped:
-            address = self._address
+            address, silent = self._address, False
+            self._wake.clear()
             try:
                 await self._converse(address)
             except Exception as fault:  # whatever discovery sends, the watch goes on
+                silent = isinstance(fault, TimeoutError)
                 if address == self._address:
                     self._complain(f"{type(fault).__name__}: {fault}")
                     self.post(self._unanswered)
@@ -245,34 +266,44 @@
                     self._stream.close()
                     self._stream = None
             if address != self._address:
-                self._back_off = BACK_OFF_S[0]  # it has moved: nothing is known against the new address
+                self._back_off, self._silences = BACK_OFF_S[0], 0  # nothing is known against the new address
             elif not self._stopped:
-                await asyncio.sleep(self.pause())
+                with contextlib.suppress(TimeoutError):
+                    await asyncio.wait_for(self._wake.wait(), self.pause(silent))
 
-    def pause(self) -> float:
+    def pause(self, silent: bool = False) -> float:
         """How long until the next try, s: twice as long each time, times a half to one and a half by chance,
-        so that gateways which lost discovery at one moment do not come back to it at one."""
+        so that gateways which lost discovery at one moment do not come back to it at one.
+
+        After silence it does not go by the back-off, which may be long still from an earlier crowd: the clock
+        leaves 2 s, and each try costs SILENT_S already."""
+        if silent:
+            self._silences += 1
+            if self._silences == 1:
+                return AGAIN_S * self._draw()
+            return (AGAIN_S if self._silences == 2 else self._silent_pause) * (0.5 + self._draw())
         pause, self._back_off = self._back_off, min(self._back_off * 2, self.longest)
         return pause * (0.5 + self._draw())
 
     def answered(self) -> None:
         """A list has come: half as long next time.  Where discovery has no room for all that ask, one answer
         does not tell that it has."""
-        self._back_off = max(self._back_off / 2, BACK_OFF_S[0])
+        self._back_off, self._silences = max(self._back_off / 2, BACK_OFF_S[0]), 0
 
     async def _converse(self, address: tuple[str, int]) -> None:
         """One connection's calls; returns where the other side wants a new one."""
         stream, coming_up = dial(address, MAX_BODY + MAX_HEAD)
         self._stream = stream
         await asyncio.wait_for(coming_up, SILENT_S)
-        keep = True
+        keep, wait_ms = True, PROBE_MS
         while keep and not self._stopped and address == self._address:
             # After a lost connection the watch goes on from the version held: what was missed comes first.
-            query = "" if self._version is None else f"?after={self._version}&wait_ms={WAIT_MS}"
+            query = "" if self._version is None else f"?after={self._version}&wait_ms={wait_ms}"
             call = f"GET {PATH}{query} HTTP/1.1\r\nHost: {address[0]}:{address[1]}\r\n\r\n"
             await stream.write(call.encode())
-            patience = WHOLE_S if self._version is None else WAIT_MS / 1000.0 + SILENT_S
+            patience = WHOLE_S if self._version is None else wait_ms / 1000.0 + SILENT_S
             response = await asyncio.wait_for(self._response(stream), patience)
+            wait_ms = WAIT_MS
             keep = response.keep
             if address != self._address:
                 return  # it has moved meanwhile: a list from there must not undo what the new one told
--- /dev/null
+++ b/tests/test_discovery_clock.py
@@ -0,0 +1,231 @@
+"""The list's clock on real sockets, whole fleets in one event loop whose time jumps to the next timer."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import random
+import selectors
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import pytest
+
+from badgeryoke.actor import Turns
+from badgeryoke.host_group import HostGroup
+from martenstep.interface import Members, Scope, State
+from tests.standins import HOST, Standin, entry
+from tests.test_fleet import most_in_a_window
+
+LOOK_S = 0.0001  # of real time: loopback delivers what was written before the writing is over
+
+
+class Jumping(asyncio.SelectorEventLoop):
+    """Sockets are real; where none has anything to say, the clock stands at the next timer at once."""
+
+    def __init__(self) -> None:
+        self.passed = 0.0
+        super().__init__(selectors.DefaultSelector())
+        selector: Any = self._selector  # type: ignore[attr-defined]
+        look = selector.select
+
+        def select(timeout: float | None = None) -> Any:
+            if (found := look(0)) or timeout == 0:
+                return found
+            time.sleep(LOOK_S)
+            if not (found := look(0)) and timeout:
+                self.passed += timeout
+            return found
+
+        selector.select = select
+
+    def time(self) -> float:
+        return self.passed
+
+
+def play(test: Callable[[], Awaitable[None]]) -> None:
+    with asyncio.Runner(loop_factory=Jumping) as runner:
+        runner.run(asyncio.wait_for(test(), 600))  # of the loop's time
+
+
+class Agent(Standin):
+    """What discovery tells: the whole list, then changes, by versions; `mood` says how it answers each call."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.history: list[dict[str, Any]] = [entry("a", 1), entry("b", 2)]  # version n: the first n
+        self.changed = asyncio.Event()
+        self.mood = "well"
+        self.calls: list[float] = []
+        self.indent: int | None = None
+
+    def change(self, told: dict[str, Any]) -> None:
+        self.history.append(told)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        first = True
+        while True:
+            path = (await reader.readuntil(b"\r\n\r\n")).decode().split(" ")[1]
+            self.calls.append(asyncio.get_running_loop().time())
+            if self.mood == "silent" or (self.mood == "watches silent" and not first):
+                await reader.read()
+                return
+            first = False
+            given = dict(part.split("=") for part in path.partition("?")[2].split("&") if part)
+            held = int(given.get("after", 0))
+            if self.mood == "full":
+                writer.write(b"HTTP/1.1 503 No room\r\nContent-Length: 0\r\n\r\n")
+                continue
+            if held >= len(self.history):
+                with contextlib.suppress(TimeoutError):
+                    await asyncio.wait_for(self.changed.wait(), int(given["wait_ms"]) / 1000)
+                if self.mood != "well":
+                    await reader.read()
+                    return
+            body = json.dumps({"version": len(self.history), "full": not held, "servers": self.history[held:]},
+                              indent=self.indent).encode()
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
+
+
+class Watching:
+    """The host groups of so many gateways, and when each heard what."""
+
+    def __init__(self, port: int, gateways: int) -> None:
+        loop = asyncio.get_running_loop()
+        self.heard: list[list[tuple[float, Members]]] = [[] for _ in range(gateways)]
+
+        def told(own: list[tuple[float, Members]]) -> Callable[[Members, object], None]:
+            return lambda members, _: own.append((loop.time(), members))
+
+        self.groups = [HostGroup((HOST, port), None, Turns(loop), told(own), gateways, random.Random(n).random)
+                       for n, own in enumerate(self.heard)]
+        for group in self.groups:
+            group.start()
+
+    def last(self) -> float:
+        """When the last gateway heard that a server had gone; raises StopIteration where one has not."""
+        return max(next(at for at, members in own if any(s.state is State.GONE for s in members.servers))
+                   for own in self.heard)
+
+    def __enter__(self) -> Watching:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        for group in self.groups:
+            group.stop()
+
+
+GONE = {"id": "a", "state": "left"}
+
+
+@pytest.mark.parametrize("gateways", [1, 40, 200])
+def test_watches_that_fall_silent_are_opened_anew_within_the_clock(gateways: int) -> None:
+    """The next try could lie 7.5 s off: it went by a back-off that an earlier crowd had made long."""
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        async with Agent() as agent:
+            with Watching(agent.port, gateways) as watching:
+                await asyncio.sleep(1.0)
+                agent.mood = "full"
+                await asyncio.sleep(20.0)
+                agent.mood = "well"
+                await asyncio.sleep(6.5)
+                agent.mood = "watches silent"  # those open now, and the next calls on their connections
+                fell = loop.time()
+                await asyncio.sleep(0.5)
+                agent.history.append(GONE)
+                await asyncio.sleep(8.0)
+                assert watching.last() < fell + 5.5  # counts as told at 6
+
+    play(test)
+
+
+@pytest.mark.parametrize(("gateways", "most"), [(3, 6), (40, 50), (200, 130)])
+def test_an_outage_is_asked_through_at_a_bounded_pace_and_ends_at_once_for_all(gateways: int, most: int) -> None:
+    """Silent for 8 s: each try waited 6 s for its answer, and the next stood off for up to 7.5 s more."""
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        async with Agent() as agent:
+            with Watching(agent.port, gateways) as watching:
+                await asyncio.sleep(11.0)
+                agent.mood = "silent"
+                fell, before = loop.time(), len(agent.calls)
+                await asyncio.sleep(7.0)
+                agent.history.append(GONE)
+                await asyncio.sleep(1.0)
+                calls = [at for at in agent.calls[before:] if at > fell + 5.5]  # the first two rounds are over
+                assert most_in_a_window(calls, 1.0) <= most and len(agent.calls) - before <= 6 * gateways
+                agent.mood = "well"
+                await asyncio.sleep(8.0)
+                assert watching.last() < fell + 8.0 + 2.7
+
+    play(test)
+
+
+def test_an_answer_of_503_keeps_the_fleet_at_its_pace_but_nobody_beyond_the_clock() -> None:
+    async def test() -> None:
+        async with Agent() as agent:
+            with Watching(agent.port, 200):
+                await asyncio.sleep(1.0)
+                agent.mood = "full"
+                await asyncio.sleep(50.0)
+                late = [at for at in agent.calls if at > 20.0]
+                assert most_in_a_window(late, 1.0) <= 90
+                assert len(late) >= 200 * 5  # 31 s: each at least every 5.5 s
+
+    play(test)
+
+
+def test_a_list_may_come_indented() -> None:
+    async def test() -> None:
+        async with Agent() as agent:
+            agent.indent = 2
+            with Watching(agent.port, 1) as watching:
+                await asyncio.sleep(1.0)
+                agent.change(GONE)
+                await asyncio.sleep(0.1)
+                [(_, first), (_, then)] = watching.heard[0]
+                assert (first.scope, then.scope) == (Scope.FULL, Scope.CHANGES) and len(agent.calls) == 3
+
+    play(test)
+
+
+@pytest.mark.parametrize("mood", ["well", "full", "silent"])
+def test_a_new_address_is_asked_at_once_also_out_of_a_pause(mood: str) -> None:
+    """SIGHUP counts after 4 s, and a pause of 7.5 s was waited to its end."""
+    async def test() -> None:
+        async with Agent() as agent, Agent() as moved:
+            moved.change(GONE)
+            with Watching(agent.port, 80) as watching:
+                await asyncio.sleep(1.0)
+                agent.mood = mood
+                await asyncio.sleep(30.0)
+                now = asyncio.get_running_loop().time()
+                for group in watching.groups:
+                    group.move((HOST, moved.port))
+                await asyncio.sleep(4.0)
+                first = [at for at in moved.calls if at < now + 0.1]
+                assert len(first) >= 80 and watching.last() < now + 0.2
+
+    play(test)
+
+
+def test_a_new_address_that_is_silent_at_first_is_known_within_4_s() -> None:
+    async def test() -> None:
+        async with Agent() as agent, Agent() as moved:
+            moved.change(GONE)
+            moved.mood = "silent"
+            with Watching(agent.port, 200) as watching:
+                await asyncio.sleep(1.0)
+                for group in watching.groups:
+                    group.move((HOST, moved.port))
+                await asyncio.sleep(1.9)
+                moved.mood = "well"
+                await asyncio.sleep(1.5)
+                assert watching.last() < 1.0 + 2.4
+
+    play(test)
