--- a/lab/stage/run.py
+++ b/lab/stage/run.py
@@ -84,14 +84,15 @@
         """The whole run."""
         gc.disable()  # a pause of the emulator would look like one of the gateways
         try:
-            await self._open()
+            await self.open()
             await self._run()
         finally:
             gc.enable()
-            await self._close()
+            await self.close()
         return conclude(self.scenario, self.seed, self.referee, self.beliefs, self.counter.calls, 0.0)
 
-    async def _open(self) -> None:
+    async def open(self) -> None:
+        """Start all parties, and wait until they see each other; then the referee's time begins."""
         scenario, loop = self.scenario, asyncio.get_running_loop()
         await self.counter.open()
         for server in self._servers:
@@ -129,9 +130,12 @@
             return
         await self._gateways[me].start()
         self._felled.discard(me)
-        if not await self._doors[me].ping(READY_S):
-            raise RuntimeError(f"gateway {me + 1} was not ready within {READY_S:g} s; its log: "
-                               f"{self.folder / f'gateway-{me + 1}' / 'log'}")
+        until = asyncio.get_running_loop().time() + READY_S
+        while not await self._doors[me].ping(0.5):
+            late = asyncio.get_running_loop().time() >= until
+            if late or not self._gateways[me].running:
+                raise RuntimeError(f"gateway {me + 1} {'was not ready in time' if late else 'ended at its start'}; its "
+                                   f"log: {self.folder / f'gateway-{me + 1}' / 'log'}")
         self._doors[me].up = True
 
     async def _run(self) -> None:
@@ -147,7 +151,7 @@
             await asyncio.sleep(max(fault.at_ms - self.now, 0.0) / 1000.0)
             self._event("fault", word=fault.word, target=fault.target, mode=fault.mode,
                         groups=[list(group) for group in fault.groups], amount=fault.amount)
-            await self._happen(fault)
+            await self.happen(fault)
         while self.asking and self.now < scenario.length_ms:
             await asyncio.sleep(0.05)
         self.asking = False
@@ -159,7 +163,8 @@
                 await self._start(me)
             await self.fleet.finish()
 
-    async def _happen(self, fault: Fault) -> None:
+    async def happen(self, fault: Fault) -> None:
+        """One fault, now."""
         if fault.target == "counter":
             await self.counter.happen(fault)
             return
@@ -197,7 +202,8 @@
                 self._doors[me].up = yes and me not in self._felled
             await asyncio.sleep(TEND_S)
 
-    async def _close(self) -> None:
+    async def close(self) -> None:
+        """End all that was started."""
         self._looking = False
         for task in self._tasks:
             task.cancel()
--- a/tests/test_fleet_stage.py
+++ b/tests/test_fleet_stage.py
@@ -6,12 +6,15 @@
 import random
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
+from pathlib import Path
 
 import pytest
 
+from lab.stage.fleet import FleetStage, unplayable
 from lab.stage.links import Links
 from lab.stage.promises import NOBODY, UNKNOWN, Book, read_answer
-from lab.text.scenario import Fault, parse
+from lab.stage.run import Stage
+from lab.text.scenario import Fault, load, parse
 from lab.text.sexpr import TextError
 
 FLEET = "(gateways 5 (fleet on) (copies 3) (halls 2))"
@@ -101,9 +104,9 @@
         server.close()
 
 
-def play(test: Callable[[], Awaitable[None]]) -> None:
+def play(test: Callable[[], Awaitable[None]], within_s: float = 30.0) -> None:
     async def bounded() -> None:
-        await asyncio.wait_for(test(), 30.0)
+        await asyncio.wait_for(test(), within_s)
     asyncio.run(bounded())
 
 
@@ -216,3 +219,67 @@
     (b"-ERR unknown call; known are STATUS\n", (None, "unknown call; known are STATUS"))])
 def test_an_answer_is_read(said: bytes, answer: object) -> None:
     assert read_answer(said) == answer and NOBODY != UNKNOWN
+
+
+def test_what_needs_privileges_is_said_with_its_line() -> None:
+    assert unplayable(load("fleet-step")[0]).startswith("line 6: step") and not unplayable(load("fleet-calm")[0])
+
+
+# Real processes -----------------------------------------------------------------------------------------
+
+
+@asynccontextmanager
+async def staged(gateways: int, folder: Path) -> AsyncIterator[tuple[Stage, FleetStage]]:
+    """So many real gateways, founded, with promises being made; at the end none is lost."""
+    stage = Stage(parse(f"(scenario short (gateways {gateways} (fleet on)) (servers 1) (proposals 30/s))"), 1, folder)
+    try:
+        await stage.open()
+        fleet = stage.fleet
+        assert fleet is not None
+        fleet.begin({})
+        yield stage, fleet
+        await fleet.finish()
+        made = fleet.figures([])
+        assert (made.promises_lost, made.promises_twice, made.leaders_in_a_term, made.invariants_broken) == (0, 0, 1, 0)
+        assert made.promises_acknowledged == len(fleet.book.acknowledged) > 0
+    finally:
+        await stage.close()
+
+
+async def promised(fleet: FleetStage, more: int = 15) -> None:
+    """Wait until so many further promises are acknowledged."""
+    least = len(fleet.book.acknowledged) + more
+    assert await fleet.until(lambda: len(fleet.book.acknowledged) >= least, 30.0), fleet.book.figures()
+
+
+def test_a_machine_lost_with_its_disk_loses_nothing_and_comes_back_as_a_newcomer(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with staged(3, tmp_path) as (stage, fleet):
+            await promised(fleet)
+            before = {status["me"] for status in fleet.seen.values()}
+            lost = fleet.seen[0]["me"]
+            await stage.happen(Fault(0.0, "lose", "gateway", ((1,),)))
+            await promised(fleet)  # two of three go on
+            await stage.happen(Fault(0.0, "start", "gateway", ((1,),)))
+            assert await fleet.until(fleet.whole, 30.0)
+            after = {status["me"] for status in fleet.seen.values()}
+            assert before - after == {lost} and len(after) == 3  # under a new incarnation
+            await promised(fleet)
+
+    play(test, 90.0)
+
+
+def test_five_gateways_go_on_through_a_cut_and_a_frozen_one(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with staged(5, tmp_path) as (stage, fleet):
+            await promised(fleet)
+            await stage.happen(Fault(0.0, "cut", "gateways", ((1, 2), (3, 4, 5))))
+            await promised(fleet, 30)
+            await stage.happen(Fault(0.0, "mend", "gateways"))
+            await stage.happen(Fault(0.0, "freeze", "gateway", ((4,),)))
+            await promised(fleet, 30)
+            await stage.happen(Fault(0.0, "thaw", "gateway", ((4,),)))
+            assert await fleet.until(fleet.whole, 30.0)
+            assert set(fleet.seen) == set(range(5))
+
+    play(test, 90.0)
