Keep a customer's stores under a ceiling for its reserved requests first

Where quota and contract do not both fit under the ceiling, the customer's requests beyond the contract used up the shared stores: asked for eight reserved units a second beside sixty others, under a quota of 5 and a ceiling of 11 over three gateways, 76 of 108 reserved were sent. The others now leave three quarters of the stores while reserved ones come: 103 of 108, and the ceiling is kept as before.

--- a/martenstep/reserved.py
+++ b/martenstep/reserved.py
@@ -11,7 +11,7 @@
 - **Ceiling.**  It holds over all gateways as without contracts, by the two proofs that there are: the gateway's own part
   of the headroom above the quota, else the quota's name at the counter, where its units are added before it is sent.
   So it takes from the quota only where the headroom is used up, that is where quota and contract do not both fit under
-  the ceiling; then the customer's own use beyond the contract goes first (`KEPT`).
+  the ceiling; the customer's own use beyond the contract goes first, since it leaves the stores part full (`KEPT`).
 
 What it does not do: the headroom is split evenly, since no gateway can prove what another that heard of no contract
 sends.  A customer whose requests all come to one gateway of many has its quota and one part of the headroom there.
@@ -24,8 +24,8 @@
 
 OVER = 3.0  # of what servers are held to bear may be out above that, while they are slow, of the first class; ...
 # ... of class n the nth part of it.  By then the others have had no place for long.
-KEPT = 0.25  # of the quota's burst is left to reserved requests by the customer's others, ...
-KEPT_MS = 2000.0  # ... for so long after one of them found no headroom
+KEPT = 0.75  # of the stores under a ceiling is left to a customer's reserved requests by its others, ...
+KEPT_MS = 2000.0  # ... for so long after one of them: the rate is theirs still, the burst is not
 MOST_PRESSED = 10_000  # customers of whom that is known; beyond, all are forgotten
 CEILING, LOAD, SERVER = "ceiling", "load", "server"  # why a reserved request is refused
 
@@ -37,7 +37,7 @@
         super().__init__(settings, seed)
         self._aside: decide.Ledger | None = None  # the book of all reserved requests: it has no quota
         self._verdict: Verdict | None = None  # of the attempt whose end is being handled
-        self._pressed: dict[int, float] = {}  # customers whose reserved requests draw on the quota, and since when
+        self._pressed: dict[int, float] = {}  # customers under a ceiling, and when the last reserved request came
 
     def _presses(self, now: float, customer: int) -> bool:
         return bool(self._pressed) and now - self._pressed.get(customer, -KEPT_MS) < KEPT_MS
@@ -55,13 +55,19 @@
     def _request(self, now: float, event: Request) -> list[Action]:
         if event.reserved:
             return self._first(now, event)
-        if self._presses(now, event.customer):
+        if self._presses(now, event.customer):  # asked in vain, it would look used to the others
             led = self._quota.ledger(now, event)
-            lacks = event.units + KEPT * led.plan.burst - led.quota.room(now)
-            if led.told and lacks > 0:
+            if (lacks := self._lacks(now, led, event.units)) > 0:
                 return [Refuse(event.id, max(lacks * led.quota.per_unit, 1.0))]
         return super()._request(now, event)
 
+    @staticmethod
+    def _lacks(now: float, led: decide.Ledger, units: float) -> float:
+        """By how many units a request that is not reserved would cut into what is kept."""
+        if not led.told or led.head is None:
+            return 0.0
+        return min(units + KEPT * led.plan.burst, led.plan.burst) - led.quota.room(now)
+
     def _first(self, now: float, event: Request) -> list[Action]:
         """A reserved request: to a server, unless a ceiling may be in its way."""
         cls = self._classes.get(event.cls)
@@ -73,11 +79,11 @@
         job = self._jobs[event.id] = decide.Job(event, cls, self._aside, now, self._settings.max_attempts)
         if led.plan.rate <= 0 or led.head is None:
             return self._send(now, job)
-        if led.head.room(now) >= event.units:
-            return self._under(now, job, led.head)
         if len(self._pressed) >= MOST_PRESSED:
             self._pressed.clear()
         self._pressed[event.customer] = now
+        if led.head.room(now) >= event.units:
+            return self._under(now, job, led.head)
         if led.told and (wait := led.quota.wait(now, event.units)) > 0:  # asked in vain, it would look used to others
             return self._refuse(now, job, wait)
         sight, timeout = self._quota.sight, self._settings.counter_timeout_ms
@@ -97,7 +103,9 @@
     def _unconfirmed(self, now: float, job: decide.Job, spare: bool = False) -> list[Action]:
         request = job.request
         if not request.reserved:
-            if self._presses(now, request.customer):  # all of the headroom is for those that are reserved
+            led = job.ledger
+            if led.head and self._presses(now, request.customer) and (
+                    led.head.room(now) - request.units < KEPT * led.head.tolerance / led.head.per_unit):
                 return self._refuse(now, job, job.ledger.quota.per_unit)
             return super()._unconfirmed(now, job, spare)
         led, units = self._quota.ledger(now, request), request.units
@@ -127,6 +135,9 @@
     def _choose(self, now: float, job: decide.Job, allowed: Where) -> Server | None:
         rank, fleet = job.request.reserved, self._fleet
         if not rank:
+            kept = not job.attempts and self._presses(now, job.request.customer)
+            if kept and self._lacks(now, job.ledger, job.request.units) > 0:
+                return None
             return super()._choose(now, job, allowed)
         borne = fleet._part() + max(fleet._more, 0.0)
         if not fleet.calm(now) and fleet._out >= max(borne * (1.0 + OVER / rank), 1.0):
--- a/tests/test_reserved.py
+++ b/tests/test_reserved.py
@@ -103,13 +103,15 @@
     assert only(made.handle(START + 1.0, helpers.outcome(plain, api.Verdict.FULL)), api.Refuse)
 
 
-@pytest.mark.parametrize("watched", [False, True])
-@pytest.mark.parametrize("counted", [True, False], ids=["counter", "counter gone"])
-def test_the_ceiling_holds_over_all_gateways(counted: bool, watched: bool) -> None:
-    """Three gateways, each asked for far more than the ceiling, reserved and not."""
-    plan, step = helpers.CAPPED, 10.0
-    rng = random.Random(5)
-    made = []
+SECONDS = 15
+
+
+def three(first: float, others: float, counted: bool = True, watched: bool = False,
+          even: bool = True) -> tuple[float, dict[bool, int], dict[bool, int]]:
+    """Three gateways and one customer under a ceiling, with so many reserved requests and others a second: the lowest
+    level of the ceiling's store, and what was asked and sent of each."""
+    plan, rng, step = helpers.CAPPED, random.Random(5), 10.0
+    made: list[Guarded | reserved.Gateway] = []
     for me in range(3):
         settings = replace(helpers.SETTINGS, me=me, gateways=3)
         one = (Guarded(settings, me, reserved.Gateway) if watched else reserved.Gateway(settings, me))
@@ -117,24 +119,25 @@
         made.append(one)
     totals: dict[int, float] = {}
     wakes: list[tuple[float, Guarded | reserved.Gateway, api.Event]] = []
-    level, lowest, served = plan.ceiling_burst, 0.0, {True: 0, False: 0}
-    for tick in range(1500):
+    level, lowest, asked, sent = plan.ceiling_burst, 0.0, {True: 0, False: 0}, {True: 0, False: 0}
+    for tick in range(SECONDS * 100):
         now = START + tick * step
         level = min(level + plan.ceiling_rate * step / 1000.0, plan.ceiling_burst)
         todo: list[tuple[Guarded | reserved.Gateway, api.Event]] = [(one, due) for at, one, due in wakes if at <= now]
         wakes = [wake for wake in wakes if wake[0] > now]
-        for index, one in enumerate(made):
-            for kind in (True, False):
-                if rng.random() < 0.2:
-                    asked = helpers.request(f"{index}.{tick}.{kind}", plan="capped", spread=3)
-                    todo.append((one, replace(asked, reserved=int(kind))))
+        for kind, rate in ((True, first), (False, others)):
+            for index in range(3):
+                if rng.random() < rate / 3 * step / 1000.0:
+                    made_up = helpers.request(f"{index}.{tick}.{kind}", plan="capped", spread=3)
+                    todo.append((made[index if even else 0], replace(made_up, reserved=int(kind))))
+                    asked[kind] += 1
         while todo:
             one, event = todo.pop(0)
             for action in one.handle(now, event):
                 if isinstance(action, api.Send):
                     level -= 1.0
                     lowest = min(lowest, level)
-                    served[action.id.endswith("True")] += 1
+                    sent[action.id.endswith("True")] += 1
                     todo.append((one, helpers.outcome(action, api.Verdict.OK, rtt=5.0)))
                 elif isinstance(action, api.Count) and counted:
                     totals[action.name] = totals.get(action.name, 0.0) + action.units
@@ -143,11 +146,24 @@
                     todo.append((one, api.Total(action.name, api.Verdict.CONNECT_FAILED, 1.0)))
                 elif isinstance(action, api.Wake):
                     wakes.append((action.at_ms, one, api.Due(action.token)))
-    seconds = 1500 * step / 1000.0
+    return lowest, asked, sent
+
+
+@pytest.mark.parametrize("watched", [False, True])
+@pytest.mark.parametrize("counted", [True, False], ids=["counter", "counter gone"])
+def test_the_ceiling_holds_over_all_gateways(counted: bool, watched: bool) -> None:
+    """Asked for five times of it, half of that reserved."""
+    plan = helpers.CAPPED
+    lowest, _, sent = three(60.0, 60.0, counted, watched)
     assert lowest >= -plan.ceiling_slack
-    assert served[True] > 3 * served[False]  # what is not reserved goes first
+    assert sent[True] > 3 * sent[False]  # what is not reserved goes first
     if counted and not watched:  # this world is no sound counter to a watch, and each has a part of its own
-        assert served[True] + served[False] > 0.85 * plan.ceiling_rate * seconds
+        assert sent[True] + sent[False] > 0.85 * plan.ceiling_rate * SECONDS
+
+
+def test_others_of_the_customer_take_nothing_that_its_contract_needs_under_the_ceiling() -> None:
+    _, asked, sent = three(8.0, 60.0)  # the quota is 5
+    assert sent[True] >= 0.9 * asked[True] and sent[False] > 0
 
 
 def test_a_refusal_for_the_ceiling_says_so() -> None:
@@ -290,6 +306,7 @@
     bench.stakes.due, bench.stakes.room = True, 1.0
     bench.loop.run(1.0)
     assert len(bench.answers) == 1 and bench.core.unanswered == 0
+    assert isinstance(bench.core._module, reserved.Gateway) and not bench.core._module._jobs
     bench.stakes.broken = True
     bench.ask()
     assert len(bench.answers) == 2 and isinstance(bench.answers[-1], Refused)
