Show six faults that stand in the fleet's code, each as a test that is expected to fail

A customer's number above 64 bits, or a window with an infinite count of turns, raises where it is encoded or checked, and ends a member's whole share in the fleet. A call is told as refused while a later try of it is open, and that try is taken. A lease ask that comes again after its part was given back is granted to nobody's use for two seconds. One wrong clock of three carries a group's time half an hour ahead for good while the third member is down.

--- a/tests/test_fleet_attacks.py
+++ b/tests/test_fleet_attacks.py
@@ -5,12 +5,18 @@
 
 from __future__ import annotations
 
+import json
 from collections.abc import Callable
+from random import Random
+from typing import Any
 
 import msgspec
 import pytest
 
-from fleet.errors import BadCall, NoLeader, WrongState
+from badgeryoke.fleet.calls import read_call
+from fleet import contracts, owed, promises
+from fleet.contracts import Capacity, Floors, Lease, Terms, Window
+from fleet.errors import BadCall, NoLeader, NoRoom, WrongState
 from fleet.events import (
     Change,
     Done,
@@ -23,6 +29,7 @@
     Store,
     Tick,
 )
+from fleet.invariants import Invariants
 from fleet.log import Log, encode_config
 from fleet.messages import (
     COMMAND,
@@ -35,9 +42,16 @@
     Lead,
     Piece,
     PieceTaken,
+    Ping,
     Vote,
 )
-from fleet.replica import MOST_BODY, MOST_HELD, Replica, Role
+from fleet.node import Member, Node, Setup
+from fleet.part import FLEET, Applied, Command
+from fleet.replica import MOST_BODY, MOST_HELD, MOST_SNAPSHOT, Replica, Role
+from fleet.state import encode
+from fleet.timings import Timings
+from lab.fleet.faults import Plan
+from lab.fleet.world import FleetWorld
 from tests.test_fleet_replica import THREE, TIMINGS, Kept, alone, sent, stored
 
 EMPTY = msgspec.msgpack.encode([])
@@ -164,7 +178,7 @@
     assert sent(made, Lead) == [Lead("g", 5)]
 
 
-# What a follower takes -------------------------------------------------------------------------------------------------
+# What a follower takes ------------------------------------------------------------------------------------------------
 
 
 def test_a_follower_commits_only_what_matches_the_leaders_log() -> None:
@@ -250,3 +264,89 @@
     for round_ in range(2, MOST_HELD + 10):
         follower.handle(10.0, Received("b/1", Append("g", 5, 1, 1, (entry(2, 5),), 0, round_)))
     assert len(follower._held) == MOST_HELD
+
+
+# What stands in the code -----------------------------------------------------------------------------------------------
+
+TERMS: dict[str, Any] = {"tenant": "t", "customers": [1], "rate": 50.0, "burst": 10.0}
+
+
+@pytest.mark.xfail(strict=True, raises=OverflowError, reason="no bound on a customer's number; MessagePack has one")
+def test_a_customer_of_any_length_ends_no_members_part() -> None:
+    """Encoded within `Node.handle`, it ends this member's whole share in the fleet."""
+    given = {"do": "propose", "id": "1", "contract": "c",
+             "terms": {**TERMS, "customers": [1 << 64], "windows": [{"from_ms": 1, "to_ms": 2}]}}
+    read = read_call(json.dumps(given).encode())
+    assert isinstance(read, BadCall) or (isinstance(read, Command) and encode(0.0, read))
+
+
+@pytest.mark.xfail(strict=True, raises=OverflowError, reason="until_ms / every_ms may be infinite")
+def test_a_window_that_recurs_without_end_is_a_bad_call() -> None:
+    window = {"from_ms": 0, "to_ms": 1e-300, "every_ms": 1e-300, "until_ms": 1e10}
+    given = {"do": "propose", "id": "1", "contract": "c", "terms": {**TERMS, "windows": [window]}}
+    assert isinstance(read_call(msgspec.json.encode(given)), BadCall)
+
+
+@pytest.mark.xfail(strict=True, reason="a refusal is told while a later try of the same call is still open")
+def test_a_call_that_is_told_as_refused_is_not_taken_later() -> None:
+    """Answers come late, so the call is made again behind 500 ms; meanwhile there is room."""
+    world = FleetWorld(Plan(1, 3))
+    for name in world.machines:
+        world.start(name)
+    world.calendar.run(4000.0)
+    leader = next(one for one in world.machines.values() if one.node is not None and one.node.replicas[FLEET].leading)
+    asker = next(one for one in world.machines.values() if one is not leader)
+    begin = leader.clock.wall(leader.clock.now(world.calendar.now)) + 60_000.0
+    terms = msgspec.convert({**TERMS, "windows": [Window(begin, begin + 1000.0)]}, Terms)
+    got: list[Any] = []
+    world.network.delays[leader.name, asker.name] = 700.0
+    world.call(asker.name, contracts.Propose(id="1", contract="c", terms=terms), got.append)
+    world.calendar.run(world.calendar.now + 200.0)
+    world.call(leader.name, Capacity(id="2", units=1000.0, reserve=0.0, floor=0.0), lambda result: None)
+    world.calendar.run(world.calendar.now + 3000.0)
+    assert leader.node is not None
+    taken = "c" in leader.node.states[FLEET].parts["contracts"].held
+    refused = isinstance(got[0], Applied) and isinstance(got[0].error, NoRoom)
+    assert not (taken and refused), f"{got[0]}, and the contract is held"
+
+
+@pytest.mark.xfail(strict=True, reason="a first ask has number 0 whenever it is made, so an old one is taken again")
+def test_a_lease_ask_that_comes_again_late_takes_no_part() -> None:
+    """The holder has given its part back since: nobody uses what it is granted now, and others get nothing for 2 s."""
+    floors = Floors(Timings(), Invariants())
+    floors.apply(1000.0, contracts.Open(id="o", tenant="t", contract="c", version=1, rate=100.0, burst=10.0,
+                                        times=((0.0, 1e6),), holds_from_ms=0.0))
+
+    def ask(id_: str, holder: str, number: int, wish: float) -> Lease:
+        return Lease(id=id_, tenant="t", contract="c", holder=holder, number=number, keep=0.0, wish=wish, room=0.0)
+
+    first = ask("1", "a/1", 0, 100.0)
+    assert floors.apply(1000.0, first).value["part"] == 100.0
+    assert floors.apply(1300.0, ask("2", "a/1", 1, 0.0)).value["number"] == 0
+    floors.apply(1600.0, first)
+    assert floors.apply(1700.0, ask("3", "b/1", 0, 100.0)).value["part"] == 100.0
+
+
+@pytest.mark.xfail(strict=True, reason="bounds count batches and characters, a snapshot's counts bytes")
+@pytest.mark.parametrize(("part", "make", "most"), [
+    (promises.Promises(), lambda number: promises.Promise(
+        id="1", name="\U0001f600" * 120 + f"{number:08}", value="\U0001f600" * promises.MOST_VALUE), promises.MOST),
+    (owed.Owed(), lambda number: owed.Owe(id=f"{number}", tenant="t", by="a/00000000", lines=tuple(
+        owed.Line(f"{at:064}", 1.5, 60_000.0) for at in range(owed.MOST_LINES))), owed.MOST),
+])
+def test_a_full_part_fits_into_a_snapshot(part: Any, make: Callable[[int], Any], most: int) -> None:
+    """Otherwise no newcomer can ever take it in, and a lost copy stays lost."""
+    few = most // 128
+    for number in range(few):
+        assert make(number).fault() == "" and part.apply(0.0, make(number)).error is None
+    assert len(msgspec.msgpack.encode(part.dump())) * most / few < MOST_SNAPSHOT
+
+
+@pytest.mark.xfail(strict=True, reason="of two clocks the middle is the mean")
+def test_one_wrong_clock_of_three_does_not_carry_the_time_ahead_while_one_is_lost() -> None:
+    """Half an hour ahead for good, as a group's time never goes back: windows end before they begin."""
+    names = ("a", "b", "c")
+    node = Node(Setup("f", "a", "1", tuple(Member(name, "h") for name in names)), {}, Random(1), 0.0, 1e12,
+                Invariants())
+    node.handle(1.0, 1e12, Received("b/1", Ping(1, "a/1", (), 1e12 + 3_600_000.0)))
+    assert not node._timed or node.ahead < 1000.0
