--- a/lab/fleet/network.py
+++ b/lab/fleet/network.py
@@ -17,6 +17,7 @@
 
 Pair = tuple[str, str]  # names: from, to
 MOST_KEPT = 16
+MOST_QUEUED_MS = 1000.0  # of a narrow link's queue; what comes beyond is lost
 FRAME = 60  # bytes of an envelope, or of a message beside its content
 
 
@@ -92,6 +93,8 @@
         if pair in self.narrow:
             size = FRAME + sum(map(size_of, messages))
             begin = max(now, self._free.get(pair, 0.0))
+            if begin - now > MOST_QUEUED_MS:
+                return
             self._free[pair] = begin + size / self.narrow[pair]
             there += self._free[pair] - now
         there = max(there, self._last.get(pair, 0.0))
