--- a/fleet/contracts.py
+++ b/fleet/contracts.py
@@ -54,6 +54,13 @@
 EARLY_MS = 1000.0  # before its window parts are granted, for use from its begin
 CURED_MS = 5000.0  # without a unit short a breach is over
 OTHERS_FLOOR = 0.1  # part of the capacity that is promised to nobody, where nothing else is stated
+SLICE_MS = 250.0  # in which what was asked for and what was drawn are counted together
+MOST_TOLD = 64  # slices of one call
+SETTLED_SLICES = 10  # after so many more a slice is compared with what was due: 2.5 s
+FOLD_SLICES = 40  # without a rest, after which units short are told all the same
+KEPT_SLICES = 2400  # are remembered for what is told late, of a gateway that was cut off; later still, it is not counted
+LONGEST_WAIT_MS = 300.0  # of a request at a gateway, for its turn
+NO_LEASE = "no lease"  # units that no gateway had a part for, where the tenant asked
 OPEN_MS = 500.0  # between two askings of the other group, doubled up to AGAIN_MS
 AGAIN_MS = 30_000.0
 NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
@@ -315,9 +322,10 @@
     hold: float = 0.0
     need: float = 0.0
     soft: bool = False
+    least: float = 0.0
 
     def fault(self) -> str:
-        figures = (self.keep, self.wish, self.room, self.hold, self.need)
+        figures = (self.keep, self.wish, self.room, self.hold, self.need, self.least)
         if not all(0.0 <= one <= HIGHEST for one in figures):
             return "keep: expected 0 to 1e9, and the other figures as well"
         return "" if 0 < len(self.holder) <= 200 and self.number >= 0 else "holder: expected a name, and a number"
@@ -329,6 +337,21 @@
     once: ClassVar[bool] = False
 
 
+class Used(_OfTenant, frozen=True, kw_only=True):
+    """What was asked for within a contract and what was drawn at one gateway, by slices of time (number, units, units).
+    A slice told again takes the place of the same one."""
+
+    once: ClassVar[bool] = False
+
+    by: str
+    slices: tuple[tuple[int, float, float], ...]
+
+    def fault(self) -> str:
+        good = all(0 <= at <= 1e12 and 0.0 <= asked <= HIGHEST and 0.0 <= drawn <= HIGHEST
+                   for at, asked, drawn in self.slices)
+        return "" if good and len(self.slices) <= MOST_TOLD and 0 < len(self.by) <= 200 else "slices: out of bounds"
+
+
 class EndLease(_OfTenant, frozen=True, kw_only=True):
     """A lease is over by the leader's clock, and so by its holder's."""
 
@@ -340,7 +363,7 @@
 
 FLEET_COMMANDS: tuple[type[Command], ...] = (Capacity, Propose, Change, CancelContract, Told, Short, Pass, ContractsRead,
                                              ContractsKnown)
-TENANT_COMMANDS: tuple[type[Command], ...] = (Open, Lease, EndLease, TurnFloor)
+TENANT_COMMANDS: tuple[type[Command], ...] = (Open, Lease, Used, EndLease, TurnFloor)
 COMMANDS: tuple[type[Command], ...] = FLEET_COMMANDS + TENANT_COMMANDS
 
 
@@ -759,6 +782,60 @@
 # The tenant's group --------------------------------------------------------------------------------------------------
 
 
+@dataclass(slots=True)
+class Tally:
+    """What was due to a tenant and what it drew: a bucket of the whole rate and burst, over all gateways together."""
+
+    told: dict[int, dict[str, tuple[float, float]]] = field(default_factory=dict)  # not compared yet
+    due: dict[int, float] = field(default_factory=dict)  # of slices that were
+    level: float = -1.0
+    last: int = 0
+    owed: float = 0.0  # due and not drawn, as yet: what waited is drawn in the next slice
+    short: float = 0.0
+
+    def note(self, by: str, slices: Iterable[tuple[int, float, float]], rate: float, newest: int) -> None:
+        """Take in what one gateway tells."""
+        for at, asked, drawn in slices:
+            if at <= self.last:
+                if at > newest - KEPT_SLICES:  # late: due as far as the rate of that time was not asked for elsewhere
+                    before = self.due.get(at, 0.0)
+                    late = min(asked, max(rate * SLICE_MS / 1000.0 - before, 0.0))
+                    self.due[at] = before + late
+                    self.short += max(late - drawn, 0.0)
+            elif at <= newest + FOLD_SLICES:  # of a clock that is not far ahead
+                self.told.setdefault(at, {})[by] = asked, drawn
+
+    def settle(self, upto: int, rate: float, burst: float) -> None:
+        """Compare slices up to there."""
+        for at in sorted(at for at in self.told if at <= upto):
+            gap = at - self.last
+            if gap > 1:
+                self._rest()
+            told = self.told.pop(at).values()
+            if self.level < 0.0:
+                self.level = burst
+            one = rate * SLICE_MS / 1000.0
+            full = self.level + one * (gap - 1) >= burst  # then it fills from the first request on: half a slice, say
+            room = burst + one / 2.0 if full else self.level + one * gap
+            due = min(sum(asked for asked, _ in told), room)
+            self.level = min(room - due, burst)
+            self.due[at] = due
+            self.owed += due - sum(drawn for _, drawn in told)
+            self.last = at
+            if at % FOLD_SLICES == 0 and self.owed > rate * LONGEST_WAIT_MS / 1000.0:
+                self.short += self.owed - rate * LONGEST_WAIT_MS / 1000.0  # more than may yet wait somewhere
+                self.owed = rate * LONGEST_WAIT_MS / 1000.0
+        if self.last and upto > self.last + 1:
+            self._rest()
+        for at in [at for at in self.due if at < upto - KEPT_SLICES]:
+            del self.due[at]
+
+    def _rest(self) -> None:
+        """Nothing was asked for: what is owed now was never drawn."""
+        self.short += max(self.owed, 0.0)
+        self.owed = 0.0
+
+
 @dataclass(slots=True)
 class Floor:
     """One contract as its tenant's group holds it."""
@@ -771,6 +848,7 @@
     coming: Open | None = None
     switch: int = 0  # the last lease's number when this version came into force
     answers: dict[Id, tuple[str, Any]] = field(default_factory=dict)  # the last call of each holder, for a repeat
+    tally: Tally = field(default_factory=Tally)
 
     def through(self) -> bool:
         """Whether no lease of a version before is left."""
@@ -786,6 +864,7 @@
         self.held: dict[str, Floor] = {}
         self.last = 0  # number of the last lease of any contract: one that comes back does not begin at 1 again
         self._told: dict[str, tuple[float, float]] = {}
+        self._shorts: dict[str, tuple[float, float]] = {}
         self._fresh: set[str] = set()  # with leases that no clock has seen yet
 
     def apply(self, at_ms: float, command: Any) -> Applied:
@@ -806,7 +885,14 @@
             return Applied(ended)
         if isinstance(command, Lease):
             return self._lease(at_ms, found, command)
+        if isinstance(command, Used):
+            newest = int(at_ms // SLICE_MS)
+            found.tally.note(command.by, command.slices, found.rate, newest)
+            found.tally.settle(newest - SETTLED_SLICES, found.rate, found.parts.depth)
+            return Applied()
         if isinstance(command, TurnFloor):
+            if found.tally.told or found.tally.owed:
+                found.tally.settle(int(at_ms // SLICE_MS) - SETTLED_SLICES, found.rate, found.parts.depth)
             return Applied(found.version)
         return Applied(error=BadCall("floors", f"unknown command {type(command).__name__}"))
 
@@ -855,7 +941,7 @@
         wish, soft = (min(command.wish, found.parts.aim), command.soft) if span is not None else (0.0, False)
         found.parts.last = self.last
         given = found.parts.ask(command.holder, command.number, command.keep, wish, command.room, self._rules,
-                                command.hold, command.need, soft)
+                                command.hold, command.need, soft, command.least)
         if not isinstance(given, Grant):
             return Applied(error=given)
         if given.number:
@@ -898,6 +984,13 @@
         for one in self.held.values():  # a version whose moment has come, though nobody asks for a part
             if one.coming is not None and view.wall >= one.coming.holds_from_ms:
                 made.append(TurnFloor(id="turn", tenant=one.tenant, contract=one.coming.contract))
+        over = int(view.wall // SLICE_MS) - SETTLED_SLICES - 2
+        made += [TurnFloor(id="tally", tenant=one.tenant, contract=name) for name, one in self.held.items()
+                 if (one.tally.owed > EDGE and over > one.tally.last) or (one.tally.told and over > min(one.tally.told))]
+        shorts = {f"short/{name}/{one.tally.short:.3f}": (name, one) for name, one in self.held.items()
+                  if one.tally.short > EDGE}
+        made += [Short(id=asked, contract=shorts[asked][0], by="-", cause=NO_LEASE, units=shorts[asked][1].tally.short,
+                       since_ms=shorts[asked][1].tally.last * SLICE_MS) for asked in due(self._shorts, shorts, view.now)]
         return made
 
     def seen(self, now: float) -> None:
@@ -915,14 +1008,18 @@
     def dump(self) -> Any:
         """See fleet.part."""
         return [self.last, [[name, one.tenant, one.version, one.rate, one.times, one.parts.dump(),
-                             msgspec.to_builtins(one.coming), one.switch, one.answers]
+                             msgspec.to_builtins(one.coming), one.switch, one.answers,
+                             [[[at, by] for at, by in one.tally.told.items()], list(one.tally.due.items()),
+                              one.tally.level, one.tally.last, one.tally.owed, one.tally.short]]
                             for name, one in self.held.items()]]
 
     def load(self, raw: Any) -> None:
         """See fleet.part."""
-        self.last, self.held, self._told = raw[0], {}, {}
-        for name, tenant, version, rate, times, parts, coming, switch, answers in raw[1]:
+        self.last, self.held, self._told, self._shorts = raw[0], {}, {}, {}
+        for name, tenant, version, rate, times, parts, coming, switch, answers, tally in raw[1]:
             self.held[name] = Floor(tenant, version, rate, [(a, b) for a, b in times], Divided.load(parts),
                                     msgspec.convert(coming, Open | None), switch,
-                                    {who: (asked, value) for who, (asked, value) in answers.items()})
+                                    {who: (asked, value) for who, (asked, value) in answers.items()},
+                                    Tally({at: {who: (asked, drawn) for who, (asked, drawn) in by.items()}
+                                           for at, by in tally[0]}, dict(tally[1]), *tally[2:]))
         self._fresh = set(self.held)
--- a/fleet/floor.py
+++ b/fleet/floor.py
@@ -25,7 +25,16 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from fleet.contracts import EARLY_MS, ContractsKnown, Lease, Short
+from fleet.contracts import (
+    EARLY_MS,
+    LONGEST_WAIT_MS,
+    MOST_TOLD,
+    SLICE_MS,
+    ContractsKnown,
+    Lease,
+    Short,
+    Used,
+)
 from fleet.errors import BadCall, FleetError, LeaseOver, NotThere
 from fleet.leases import EDGE
 from fleet.messages import Id
@@ -33,7 +42,7 @@
 from fleet.timings import Timings
 
 KNOWN_MS = 1000.0  # between two looks at what contracts there are; at 100 gateways and more 10 ms for each
-BUSY_MS = 180.0  # between two askings of one that uses or lends its part while others hold one
+BUSY_MS = 120.0  # between two askings of one that uses or lends its part while others hold one
 URGENT_MS = 10.0  # the least between two askings, doubled while nothing comes, up to LACKS_MS
 LACKS_MS = 20.0
 RETRY_MS = 50.0  # after a call without an outcome, doubled up to RETRY_MOST_MS
@@ -44,18 +53,17 @@
 QUIET_GAPS, GONE_GAPS = 3.0, 6.0  # mean gaps between requests after which it looks, and after which it gives up
 GAP_LEAST_MS, GAP_MOST_MS = 25.0, 1000.0
 YOUNG_MS = 40.0  # an average is over so long at the least
-MARGIN = 1.5  # standard errors of what is asked for by which the wish lies above it
 FELL = 0.7  # a wish below so much of the last one is told at once
 SLIGHT = 0.1  # of the rate: above what others leave by so much, a part in use is given back at once
 REST_MS = 1000.0  # without a request until a part is shared out evenly for lending
 LOOK_MS = 250.0  # without a request while it looks often whether the traffic has come up elsewhere
-WAIT_MS = 250.0  # for its turn, of a request that finds no room
-QUEUE_MS = 150.0  # of a part: so much waits, as long as nothing is lacking
+WAIT_MS = LONGEST_WAIT_MS  # for its turn, of a request that finds no room
+QUEUE_MS = 200.0  # of a part: so much waits, as long as nothing is lacking
 MOST_WAITING = 1024
+FULL = 0.3  # of a bucket in use: units above go to others
 PACED_MS = 30.0
-FOLLOW_MS = 500.0  # in which the contract follows its traffic, and nothing counts as short
-DUE_MS = 500.0  # of what is due and not granted, kept to tell units short from units beyond the contract
-NO_LEASE = "no lease"
+LATE_MS = 60_000.0  # behind its last lease a contract that is settled is kept for what is yet to be told
+MOST_SLICES = 2400  # kept until they are told: ten minutes
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,6 +86,7 @@
     born: float = 0.0
     last: float = -math.inf
     seen: int = 0
+    largest: float = 0.0  # request, of late: the bucket has to hold one
     mean: float = 0.0  # ms between requests, as of the last
 
     def note(self, now: float, units: float) -> None:
@@ -88,6 +97,7 @@
         self._fade(now)
         self.fast, self.slow, self.count, self.last = self.fast + units, self.slow + units, self.count + 1.0, now
         self.seen += 1
+        self.largest = max(units, 0.99 * self.largest)
         self.mean = SLOW_MS * self._whole(SLOW_MS) / self.count
 
     def _fade(self, now: float) -> None:
@@ -113,8 +123,7 @@
         slow = self.slow / (SLOW_MS * self._whole(SLOW_MS)) * 1000.0
         unit = self.slow / self.count
         spread = math.sqrt(max(slow, EDGE) * unit * 1000.0 / (2.0 * FAST_MS))
-        found = slow if abs(fast - slow) <= 3.0 * spread else fast
-        return found * (1.0 + MARGIN / math.sqrt(max(self.count, 1.0)))
+        return slow if abs(fast - slow) <= 3.0 * spread else fast
 
 
 @dataclass(slots=True)
@@ -146,18 +155,18 @@
     asked: float = 0.0  # when `out` was made first
     again: float = math.inf  # when to make it again
     sent: float = -math.inf
+    refused: int = 0  # times in a row that its lease was over
     pause: float = URGENT_MS
     waiting: deque[tuple[float, float, Any]] = field(default_factory=deque)  # until when, units, token
     demand: _Demand = field(default_factory=_Demand)
     paced: float = -math.inf
-    due: float = 0.0  # units that were due here and not granted
-    maybe: float = 0.0  # of these, asked for, since `lacking`
-    lacking: float = -math.inf  # when nothing was lacking last
+    slices: dict[int, list[float]] = field(default_factory=dict)  # of time: asked for, drawn
     drawn: float = 0.0
     short: dict[str, float] = field(default_factory=dict)
     told: dict[str, float] = field(default_factory=dict)
     since: dict[str, float] = field(default_factory=dict)
-    report: float = 0.0
+    report: float = 0.0  # when slices are told next
+    shorts: float = 0.0  # when units short are
 
     def times(self, wall: float) -> tuple[float, float] | None:
         """The window that holds now, or is about to."""
@@ -182,27 +191,40 @@
         self.paced = max(self.paced, now - PACED_MS) + units / self.rate(wall) * 1000.0
         self.level -= units
         self.drawn += units
+        self.slice(wall)[1] += units
         return True
 
-    def lost(self, now: float, units: float, wall: float) -> None:
-        """A request found no room: short as far as more is due here than was granted for longer than the traffic takes
-        to be followed, else beyond the contract."""
-        lost = min(units, self.due)
-        self.due -= lost
-        self.maybe += lost
-        if now >= self.lacking + FOLLOW_MS and self.maybe > EDGE:
-            self.count(NO_LEASE, self.maybe, wall)
-            self.maybe = 0.0
+    def note(self, now: float, wall: float, units: float) -> None:
+        """So much is asked for; what comes of it is noted in the same slice of time."""
+        self.demand.note(now, units)
+        self.slice(wall)[0] += units
+
+    def slice(self, wall: float) -> list[float]:
+        """What was asked for and what was drawn, in the slice of time that holds now."""
+        number = int(wall // SLICE_MS)
+        if number not in self.slices:
+            self.slices[number] = [0.0, 0.0]
+            if len(self.slices) > MOST_SLICES:  # cut off for so long: the oldest are told by nobody
+                del self.slices[next(iter(self.slices))]
+        return self.slices[number]
 
     def count(self, cause: str, units: float, wall: float) -> None:
         """Units short."""
         self.short[cause] = self.short.get(cause, 0.0) + units
         self.since.setdefault(cause, wall)
 
+    def fits(self, units: float) -> bool:
+        """Whether a request can have its turn in this bucket, or may in one that is yet to come."""
+        return units <= self.cap + EDGE or self.out is not None or self.lacks(self.wish)
+
     def queued(self) -> float:
         """Units that wait."""
         return float(sum(one[1] for one in self.waiting))
 
+    def burst(self) -> float:
+        """Of the contract, units."""
+        return float(self.facts["versions"][-1]["burst"])
+
     def lacks(self, wish: float) -> bool:
         """Whether it has less than its due."""
         return self.part < min(self.fair, wish) * (1.0 - SLIGHT) - EDGE
@@ -220,13 +242,6 @@
             self.until_ms = math.inf  # it has turned; what holds from here on is asked for at once
         gained = (old * (turn - begin) + self.part * (end - turn)) / 1000.0
         self.level = min(self.level + max(gained, 0.0), self.cap)
-        if self.demand.gone(now):
-            self.due = 0.0
-        else:
-            lacking = max(self.fair - (self.part if now < self.ends else 0.0), 0.0)
-            if lacking <= SLIGHT * self.fair:
-                self.lacking, self.maybe = now, 0.0  # what was missed on the way is made up by the bucket
-            self.due = min(self.due + lacking * (now - self.filled) / 1000.0, self.fair * DUE_MS / 1000.0)
         self.filled = now
         if now >= self.ends:
             self.part = self.cap = self.level = 0.0
@@ -259,15 +274,21 @@
     def _calls(self, now: float, wall: float) -> Iterator[Command]:
         busy = set(self._out)
         for one in sorted(self.stakes.values(), key=lambda stake: stake.sent):
-            if f"t:{one.tenant}" not in busy and (lease := self._lease(now, wall, one)) is not None:
+            again = one.out is not None and now >= one.again  # the same call: nothing else of its key goes before it
+            if (again or f"t:{one.tenant}" not in busy) and (lease := self._lease(now, wall, one)) is not None:
                 busy.add(lease.key())
                 yield lease
+        for one in self.stakes.values():
+            if f"t:{one.tenant}" not in busy and now >= one.report and (used := self._used(wall, one)) is not None:
+                one.report = now + REPORT_MS
+                busy.add(used.key())
+                yield used
         if "" in busy:
             return
         for one in self.stakes.values():
             cause = next((cause for cause, units in one.short.items() if units > one.told.get(cause, 0.0)), None)
-            if cause is not None and now >= one.report:
-                one.report = now + REPORT_MS
+            if cause is not None and now >= one.shorts:
+                one.shorts = now + REPORT_MS
                 yield Short(id=self._id(), contract=one.contract, by=f"{self._me}#{self._process}", cause=cause,
                             units=one.short[cause], since_ms=one.since[cause])
                 return
@@ -275,6 +296,13 @@
             self._look = now
             yield ContractsKnown(id=self._id(), have=self._known)
 
+    def _used(self, wall: float, one: Stake) -> Used | None:
+        """What was asked for and drawn, in slices that are over and can change no more."""
+        last = int((wall - WAIT_MS) // SLICE_MS)
+        told = [(number, asked, drawn) for number, (asked, drawn) in one.slices.items() if number < last][:MOST_TOLD]
+        return Used(id=self._id(), tenant=one.tenant, contract=one.contract, by=f"{self._me}#{self._process}",
+                    slices=tuple(told)) if told else None
+
     def _id(self) -> str:
         self._made += 1
         return f"{self._me}#{self._process}/{self._made}"
@@ -314,18 +342,23 @@
              urgent: bool = False) -> Lease:
         """Use less from here on, then say so."""
         hold = min(one.cap, one.fair_cap) if stay else 0.0
-        if wish > 0.0 and one.lack > EDGE and one.level > 0.9 * hold:
-            hold -= hold / 4.0  # full while in use: more would run over, and another may be short
+        least = one.demand.largest if stay else 0.0
         room = max(one.level - hold, 0.0)
-        one.part, one.cap, one.level = keep, hold, one.level - room
+        if wish > 0.0 and one.holders > 1 and not one.waiting:
+            # More comes in than is asked for here, and another may be short.
+            room = max(room, one.level - max(FULL * hold, least), 0.0)
+            hold = min(hold, one.cap - room)
+        one.part, one.cap, one.level = keep, hold, one.level - room  # from here on `level` is what it keeps
         changed = not one.wish <= 2.0 * wish <= 4.0 * one.wish
         one.pause = URGENT_MS if changed or not urgent else min(1.5 * one.pause, LACKS_MS)
         one.wish, one.sent, one.asked, one.again = wish, now, now, now + REPEAT_MS
         # Units that nobody holds are for those that wait for traffic, or for their part.
-        idle = wish <= 0.0 or one.lacks(wish) or one.holders < 2 or now < one.moved + LOOK_MS
-        need = max(hold - one.level, 0.0) if idle else 0.0
+        idle = wish <= 0.0 or one.lacks(wish) or one.holders < 2 or one.waiting or now < one.moved + LOOK_MS
+        need = max(hold, one.fair_cap, least) - one.level if idle and stay else 0.0
+        if one.number == 0:
+            need = one.burst()  # of which it is given what falls to it
         one.out = Lease(id=self._id(), tenant=one.tenant, contract=one.contract, holder=self._me, number=one.number,
-                        keep=keep, wish=wish, room=room, hold=hold, need=need, soft=soft)
+                        keep=keep, wish=wish, room=room, hold=hold, need=max(need, 0.0), soft=soft, least=least)
         return one.out
 
     def answered(self, now: float, command: Command, result: Applied | FleetError) -> None:
@@ -337,6 +370,10 @@
         if isinstance(command, ContractsKnown):
             if error is None and "contracts" in value:
                 self._learn(now, value["known"], value["contracts"])
+        elif isinstance(command, Used):
+            if error is None and command.contract in self.stakes:
+                for number, *_ in command.slices:
+                    self.stakes[command.contract].slices.pop(number, None)
         elif isinstance(command, Short):
             if error is None and command.contract in self.stakes:
                 told = self.stakes[command.contract].told
@@ -350,7 +387,7 @@
         one.fill(now, now + self._ahead)
         if error is None:
             one.out, one.again = None, math.inf
-            one.number = value["number"]
+            one.number, one.refused = value["number"], 0
             if abs(value["fair"] - one.fair) > SLIGHT * one.rate(now + self._ahead):
                 one.moved = now
             one.fair, one.most, one.fair_cap = value["fair"], value["most"], value["fair_cap"]
@@ -363,7 +400,8 @@
         elif isinstance(error, LeaseOver | BadCall):  # it is over there, and so here; what it was is lost
             one.out, one.again, one.number = None, math.inf, 0
             one.part = one.cap = one.level = 0.0
-            one.pause = min(max(2.0 * one.pause, RETRY_MS), RETRY_MOST_MS)
+            one.refused += 1
+            one.pause = min(RETRY_MS * 2.0 ** min(one.refused, 8), RETRY_MOST_MS)
             one.sent = now
         elif isinstance(error, NotThere):  # not open there yet, or no more
             one.out, one.again = None, math.inf
@@ -384,7 +422,7 @@
             one.facts, one.rank = facts, facts["rank"]
             one.customers = [(v["holds_from_ms"], frozenset(v["customers"])) for v in facts["versions"]]
         for name, one in self.stakes.items():  # settled: its lease ends by itself, and what is short is told first
-            if name not in kept and any(units > one.told.get(cause, 0.0) for cause, units in one.short.items()):
+            if name not in kept and (one.slices or one.short != one.told) and now < one.ends + LATE_MS:
                 kept[name] = one
         self.stakes = kept
         self._of = {}
@@ -395,7 +433,7 @@
     def take(self, now: float, customer: int, units: float) -> Reserved | None:
         """Draw from the first contract of a customer that has room here.  None: `wait`, or it is an ordinary request."""
         for one in self._open(now, customer):
-            one.demand.note(now, units)
+            one.note(now, now + self._ahead, units)
             if not one.waiting and one.draw(now, now + self._ahead, units):
                 return Reserved(one.contract, units, one.rank)
         return None
@@ -406,10 +444,10 @@
         wall = now + self._ahead
         for one in self._open(now, customer):
             most = one.part * QUEUE_MS if not one.lacks(one.wish) else one.rate(wall) * WAIT_MS
-            if len(one.waiting) < MOST_WAITING and one.queued() + units <= max(most / 1000.0, units):
+            free = one.queued() + units <= max(most / 1000.0, units) and len(one.waiting) < MOST_WAITING
+            if free and one.fits(units):
                 one.waiting.append((now + WAIT_MS, units, token))
                 return True
-            one.lost(now, units, wall)
         return False
 
     def turns(self, now: float) -> list[tuple[Any, Reserved | None]]:
@@ -421,11 +459,9 @@
                 until, units, token = one.waiting[0]
                 one.fill(now, wall)
                 drawn = now <= until and one.draw(now, wall, units)
-                if not drawn and now <= until:
+                if not drawn and now <= until and one.fits(units):
                     break
                 one.waiting.popleft()
-                if not drawn:
-                    one.lost(now, units, wall)
                 made.append((token, Reserved(one.contract, units, one.rank) if drawn else None))
         return made
 
--- a/fleet/leases.py
+++ b/fleet/leases.py
@@ -101,18 +101,20 @@
         self.at_ms = max(at_ms, self.at_ms)
 
     def ask(self, who: Id, number: int, keep: float, wish: float, room: float, rules: Invariants,
-            hold: float = 0.0, need: float = 0.0, soft: bool = False) -> Grant | BadCall | LeaseOver:
+            hold: float = 0.0, need: float = 0.0, soft: bool = False,
+            least: float = 0.0) -> Grant | BadCall | LeaseOver:
         """Renew, shrink, grow or give back (wish 0, keep 0, not soft).  `number` 0: it holds none.
 
         `hold`: the depth that it keeps of its bucket; `room`: units that it has taken out of it and gives back;
-        `need`: units that it could take.  `soft`: it takes what no wish needs as well, until another asks for it.
+        `need`: units that it could take; `least`: the depth that its largest request needs.  `soft`: it takes what no
+        wish needs as well, until another asks for it.
         """
         mine = self.held.get(who)
         had, cap = (mine.part, mine.cap) if mine is not None else (0.0, 0.0)
         if number != (mine.number if mine is not None else 0):
             return LeaseOver(who, f"lease {number} is not the one in force")
         if not (0.0 <= keep <= had + EDGE and 0.0 <= wish < math.inf and room >= 0.0 and 0.0 <= need < math.inf
-                and hold >= 0.0 and hold + room <= cap + EDGE):
+                and least >= 0.0 and hold >= 0.0 and hold + room <= cap + EDGE):
             return BadCall(who, f"keep {keep!r}, wish {wish!r}, hold {hold!r} or room {room!r} is out of bounds")
         if mine is None and len(self.held) >= MOST_HOLDERS:
             return BadCall(who, f"{MOST_HOLDERS} hold a part already")
@@ -129,9 +131,9 @@
         part = max(min(most, spare), min(keep, had))
         if self.step:
             part = int(part / self.step + EDGE) * self.step
-        fair_cap = self._fair_cap(wish)
+        fair_cap = max(self._fair_cap(wish), min(least, self.depth))
         grow = max(fair_cap - hold, 0.0)
-        given = min(self.free, need + grow)
+        given = min(self.free, need, max(hold, fair_cap))
         slack = max(self.depth - self._caps() - hold - self.free, 0.0)
         self.free -= given
         cap = hold + min(grow, slack + given)
@@ -171,9 +173,10 @@
         return wish
 
     def _fair_cap(self, wish: float) -> float:
-        """An even part of `STANDBY` of the depth, for when traffic comes up, and by wishes of the rest."""
+        """An even part of `STANDBY` of the depth, for when traffic comes up, with one left for a newcomer; and of the
+        rest by wishes."""
         count, total = len(self.held) + 1, wish + sum(one.wish for one in self.held.values())
-        return self.depth * (STANDBY / count + (1.0 - STANDBY) * (wish / total if total > 0.0 else 1.0 / count))
+        return self.depth * (STANDBY / (count + 1) + (1.0 - STANDBY) * (wish / total if total > 0.0 else 1.0 / count))
 
     def excess(self, who: Id) -> float:
         """By how much a holder is above its fair part while others have less than theirs: it should give that back."""
