Hold membership, founding and the placing of copies to fifteen rules that no test stood for

Planted faults that their own tests passed over: an incarnation that is over is heard again, a member that answers is buried, health that never comes back, 'none' told while a record is being stored, a lost copy removed before the new one counts, copies that lag counted as whole, a move over before its newcomer counts, and others. Each test was seen to fail with its fault planted. Two survivors are left as harmless: a count that does not grow on leaving, and a time-out that begins anew with each state.

--- a/tests/test_fleet_attacks.py
+++ b/tests/test_fleet_attacks.py
@@ -7,6 +7,7 @@
 
 import json
 from collections.abc import Callable
+from dataclasses import replace
 from random import Random
 from typing import Any
 
@@ -25,29 +26,42 @@
     Read,
     Received,
     Saved,
+    Say,
+    Send,
     Snapshot,
     Store,
+    Stored,
     Tick,
 )
+from fleet.founding import Founding, Record
+from fleet.groups import Enrol, Moved, Placing, Replace, copies_for
 from fleet.invariants import Invariants
 from fleet.log import Log, encode_config
+from fleet.membership import DEAD, SUSPECT, Membership
 from fleet.messages import (
     COMMAND,
     CONFIG,
+    Ack,
     Append,
     Appended,
     Ask,
     Config,
     Entry,
+    Found,
+    IAm,
     Lead,
     Piece,
     PieceTaken,
     Ping,
+    Rumour,
     Vote,
+    WhoAreYou,
+    name_of,
 )
 from fleet.node import Member, Node, Setup
-from fleet.part import FLEET, Applied, Command
+from fleet.part import FLEET, Applied, Command, View
 from fleet.replica import MOST_BODY, MOST_HELD, MOST_SNAPSHOT, Replica, Role
+from fleet.setup import FOUNDING
 from fleet.state import encode
 from fleet.timings import Timings
 from lab.fleet.faults import Plan
@@ -266,6 +280,114 @@
     assert len(follower._held) == MOST_HELD
 
 
+# Who lives, how a fleet is formed, where its copies are ----------------------------------------------------------------
+
+
+def watcher() -> Membership:
+    return Membership("a/1", "x", [Member(name, "x") for name in "abc"], Timings(), Random(1), 0.0)
+
+
+def test_an_incarnation_that_is_over_is_neither_heard_nor_answered() -> None:
+    me = watcher()
+    for who in ("c/1", "b/1", "b/2"):
+        me.handle(10.0, Received(who, Ping(1, "a/1", ())))
+    out = me.handle(11.0, Received("b/1", Ping(2, "a/1", (Rumour("c/1", DEAD, 0),))))
+    assert not [one for one in out if isinstance(one, Send)]
+    assert me.ids()["b"] == "b/2" and me.state_of("c") == "alive"
+    me.handle(12.0, Received("b/2", Ping(3, "a/1", (Rumour("c/1", DEAD, 0),))))
+    assert me.state_of("c") == "dead"  # at the count that is known as well
+
+
+def test_who_answers_is_not_buried_though_its_refutation_is_lost_and_health_comes_back() -> None:
+    me = watcher()
+    for who in ("b/1", "c/1"):
+        me.handle(10.0, Received(who, Ping(1, "a/1", ())))
+    me.handle(11.0, Received("c/1", Ping(2, "a/1", (Rumour("b/1", SUSPECT, 0, "c/1"),))))
+    me.health = 3
+    now = 11.0
+    while now < 60_000.0:
+        now = me.due
+        for one in me.handle(now, Tick()):
+            if isinstance(one, Send) and isinstance(one.message, Ping) and one.to in ("b/1", "c/1"):
+                me.handle(now, Received(one.to, Ack(one.message.seq, one.to, ())))
+    assert me.state_of("b") == "suspected" and me.health == 0
+
+
+YARD = Setup("yard", "b", "1", tuple(Member(name, "x") for name in "abc"))
+FOUNDED = Record("yard", "01", "a/1", tuple((f"{name}/1", "x") for name in "abc"), 8, 3)
+
+
+def test_a_member_of_which_the_record_is_not_stored_yet_says_neither_none_nor_that() -> None:
+    node = Founding(YARD, Saved(), Random(1), 0.0)
+    assert [type(one) for one in node.handle(1.0, Received("a/1", Found(msgspec.msgpack.encode(FOUNDED))))] == [Store]
+    assert node.handle(2.0, Received("c/1", WhoAreYou("x"))) == []
+    node.handle(3.0, Stored(FOUNDING, 1))
+    assert node.handle(4.0, Received("c/1", WhoAreYou("x"))) == [Send("c/1", IAm("x", msgspec.msgpack.encode(FOUNDED)))]
+    other = msgspec.msgpack.encode(msgspec.structs.replace(FOUNDED, founding="02"))
+    said = node.handle(5.0, Received("a/2", Found(other)))
+    assert [one.fields["error"] for one in said if isinstance(one, Say)] == ["another-fleet"]
+
+
+def test_an_answer_is_never_given_back_to_an_earlier_maker() -> None:
+    node = Founding(YARD, Saved(), Random(1), 0.0)
+    for who in ("a/1", "a/2"):
+        assert [type(one) for one in node.handle(1.0, Received(who, WhoAreYou("x")))] == [Store]
+    assert node.handle(2.0, Received("a/1", WhoAreYou("x"))) == []
+
+
+def placing(halls: str = "aaaaa", groups: int = 2) -> Placing:
+    made = Placing(Timings(), Invariants())
+    made.begin(Record("yard", "01", "m0/1", tuple((f"m{at}/1", hall) for at, hall in enumerate(halls)), groups, 3))
+    return made
+
+
+def moving() -> tuple[Placing, str, str]:
+    """A move of g0 is under way; gives who goes and who comes."""
+    made = placing()
+    voters = made.groups["g0"].voters
+    new = next(who for who, _ in made.members.values() if who not in voters)
+    assert made.apply(0.0, Replace(id="1", group="g0", lost=voters[0], new=new, most=2)).error is None
+    return made, voters[0], new
+
+
+def test_a_copy_goes_when_the_one_in_its_place_counts() -> None:
+    made, lost, new = moving()
+    alive = frozenset(who for who, _ in made.members.values())
+    config = Config(made.groups["g0"].voters)
+    acts = []
+    while (change := made.wanted("g0", config, (), alive)) is not None:
+        acts.append(change.act)
+        config = {"learn": Config(config.voters, (new,)), "promote": Config((*config.voters, new)),
+                  "remove": Config(tuple(who for who in config.voters if who != lost))}[change.act]
+    assert acts == ["learn", "promote", "remove"]
+    gone = tuple(who for who in made.groups["g0"].voters if who != lost)
+    made.apply(0.0, Moved(id="2", group="g0", voters=gone, number=1))
+    assert "g0" in made.moves  # its newcomer counts for nothing yet
+    made.apply(0.0, Moved(id="3", group="g0", voters=(*gone, new), number=2))
+    assert not made.moves
+
+
+def test_a_move_counts_as_load_and_ends_with_its_newcomers_incarnation() -> None:
+    made, _, new = moving()
+    held = sum(new in held.voters for held in made.groups.values())
+    assert made._loads()[new] == held + 1
+    name = name_of(new)
+    assert made.apply(0.0, Enrol(id="2", name=name, who=f"{name}/2", hall="a")).error is None
+    assert not made.moves
+
+
+def test_copies_that_lag_are_not_whole_and_a_move_is_timed_by_what_its_leader_saw() -> None:
+    made = placing()
+    view = View(100_000.0, 0.0, "m0/1", 99_000.0, Timings(), frozenset(who for who, _ in made.members.values()), {},
+                {}, {}, {}, {})
+    assert made.missing(view) == [] and not made._long(view, 0.0)
+    voters = made.groups["g1"].voters
+    assert made.missing(replace(view, behind={"g1": voters[:1]}))
+    made.apply(0.0, Moved(id="1", group="g1", voters=voters, number=1, behind=voters[1:2]))
+    assert made.missing(view)
+    assert [copies_for(most, members) for most, members in ((5, 4), (4, 9), (3, 2), (3, 1))] == [3, 3, 2, 1]
+
+
 # What stands in the code -----------------------------------------------------------------------------------------------
 
 TERMS: dict[str, Any] = {"tenant": "t", "customers": [1], "rate": 50.0, "burst": 10.0}
