Count on sockets what a contract was short of, and roll as simulated time does

What is due is a store of the contract's rate and burst; the fleet's own count is read at the end and set against it. Rolls take 10 s for a gateway and half a second to warm, as in simulated time.

--- a/lab/stage/fleet.py
+++ b/lab/stage/fleet.py
@@ -17,6 +17,7 @@
 from fleet.groups import copies_for, group_of
 from fleet.part import FLEET
 from lab.fleet.figures import FleetFigures
+from lab.referee import EDGE, Store
 from lab.stage.links import Links
 from lab.stage.process import STORE, GatewayProcess
 from lab.stage.promises import (
@@ -38,6 +39,8 @@
 FOUNDED_S = 20.0
 WHOLE_S = 30.0  # for which a fault that waits for whole copies is put off at the most
 READ_S = 20.0
+DRAIN_MS, WARM_MS = 10_000.0, 500.0  # for a gateway to become empty or come back, and from then to the next wave
+FEW = 0.05  # part of what was due, below which a shortfall's error is not measured against the shortfall
 ROLLED_S = 120.0  # for which the end waits for a roll at the most
 LEFT_OUT_MS = 2000.0  # behind a loss, of the contracts' floor
 NAME = "lab"
@@ -79,6 +82,9 @@
         self.roll_state: str | None = None
         self._asked: dict[tuple[str, int], list[float]] = {}  # by contract and second: units asked for and served
         self._contract_of: dict[int, ContractText] = {}
+        self._stores = {text.name: Store(text.rate, text.burst, text.from_ms) for text in scenario.contracts}
+        self._due, self._short = (dict.fromkeys(self._stores, 0.0) for _ in range(2))  # units within, and not served
+        self._told_short: dict[str, float] = {}
 
     def file(self, me: int) -> str:
         """The [fleet] section of one gateway's file: it reaches the others by the laboratory's links."""
@@ -141,7 +147,8 @@
         await asyncio.sleep(max(text.from_ms - self._clock(), 0.0) / 1000.0)
         before, self.roll_state = self.roll_lost, "asked"
         answer = await self.call("RollAsk", id=f"lab/{text.name}", roll=text.name, at_once=text.at_once,
-                                 gateways=[f"g{number}" for number in text.gateways], reason="laboratory")
+                                 gateways=[f"g{number}" for number in text.gateways], reason="laboratory",
+                                 deadline_ms=DRAIN_MS, warm_ms=WARM_MS)
         self._event("roll", name=text.name, answer=answer[0], error=answer[1])
         if answer[1]:
             self.roll_state = answer[1]
@@ -167,14 +174,33 @@
             if task.done():
                 task.result()
 
-    def served(self, customer: int, sent: float, units: float, kind: str) -> None:
-        """How a try of a customer ended that was made at a time."""
+    def asked(self, customer: int, now: float, units: float) -> Callable[[str], None]:
+        """A try of a customer; the result is told how it ended.  What is due to it under a contract is what a store of
+        its rate and burst has in it."""
         text = self._contract_of.get(customer)
-        if text is None or not text.from_ms <= sent < text.to_ms:
-            return
-        sums = self._asked.setdefault((text.name, int(sent // 1000.0)), [0.0, 0.0])
+        if text is None or not text.from_ms <= now < text.to_ms:
+            return lambda kind: None
+        name, store = text.name, self._stores[text.name]
+        sums = self._asked.setdefault((name, int(now // 1000.0)), [0.0, 0.0])
         sums[0] += units
-        sums[1] += units if kind == "served" else 0.0
+        due = store.fill(now) >= units - EDGE
+        if due:
+            store.level -= units
+            self._due[name] += units
+
+        def ended(kind: str) -> None:
+            if kind == "served":
+                sums[1] += units
+            elif due:
+                self._short[name] += units
+        return ended
+
+    def shortfall_error(self) -> float | None:
+        """Units that the fleet says were short against those that were, as a share of them; of a twentieth of what was
+        due where fewer were short."""
+        found = [abs(self._told_short[name] - short) / max(short, FEW * self._due[name], 1.0)
+                 for name, short in self._short.items() if name in self._told_short]
+        return max(found, default=None)
 
     def floor(self) -> float | None:
         """The least share of a contract's rate served over a second in which so much was asked for."""
@@ -287,6 +313,11 @@
         self.book.finish(self._clock())
         if not await self.until(self.whole, WHOLE_S):
             self._event("not whole", state=self._state())
+        if self.scenario.contracts:
+            value, error = await self.call("ContractsRead")
+            self._event("contracts", told=value, error=error)
+            if not error:
+                self._told_short = {one["contract"]: sum(one["short"].values()) for one in value["contracts"].values()}
         await self.client.read_back(READ_S)
 
     def close(self) -> None:
@@ -303,7 +334,7 @@
             promises_acknowledged=len(book.acknowledged), promises_lost=len(book.lost) + len(book.unread),
             promises_twice=len(book.twice), leaders_in_a_term=max(map(len, self._leaders.values()), default=0),
             unavailable_ms=book.longest_ms, copies_restored_ms=self.restored_ms,
-            contract_floor=self.floor(),
+            contract_floor=self.floor(), shortfall_error=self.shortfall_error(),
             connections_over=(max(max(one.most_open - scenario.connections, 0) for one in servers)
                               if scenario.connections else None),
             roll_state=self.roll_state, roll_lost=self.roll_lost if scenario.rolls else None,
--- a/lab/stage/run.py
+++ b/lab/stage/run.py
@@ -269,8 +269,7 @@
             if kind == "refused" and not again and rng.random() < customer.crowd.retries:
                 asyncio.get_running_loop().call_later(wait_ms / 1000.0, self._ask, customer, True)
             self.counts[kind] += 1
-            if self.fleet is not None:
-                self.fleet.served(customer.number, sent, units, kind)
+            ended(kind)
             if kind == "lost":
                 self.referee.lost(rid)
                 if self.fleet is not None and me not in self._felled:
@@ -279,6 +278,7 @@
             self.referee.answered(self.now, rid, kind)
             self.latency[kind].record_value(max(int((self.now - sent) * 1000.0), 1))
 
+        ended = self.fleet.asked(customer.number, sent, units) if self.fleet is not None else lambda kind: None
         self.referee.tried(sent, rid, customer.number, plan, units, me)
         if not self._doors[me].ask(words(b"SVC.QUERY", b"%016x" % customer.number, rid.encode(),
                                          fields.encode()), done):
--- a/tests/test_fleet_stage.py
+++ b/tests/test_fleet_stage.py
@@ -225,6 +225,18 @@
     assert unplayable(load("fleet-step")[0]).startswith("line 6: step") and not unplayable(load("fleet-calm")[0])
 
 
+def test_what_is_due_under_a_contract_and_what_of_it_was_short() -> None:
+    text = parse(f"""(scenario a {FLEET} {LOAD} (contract c (customers 1) (rate 4/s) (burst 4u) (from 1s) (to 3s)))""")
+    fleet = FleetStage(text, random.Random(1), lambda: 0.0, lambda *said, **more: None, [("127.0.0.1", 1)] * 5, [])
+    fleet._contract_of = {7: text.contracts[0]}
+    for at, kind in ((900.0, "refused"), (1000.0, "served"), (1001.0, "refused"), (1002.0, "refused"),
+                     (2000.0, "served"), (2001.0, "served")):
+        fleet.asked(7, at, 2.0)(kind)
+    assert fleet.floor() == 0.5 and fleet.shortfall_error() is None
+    fleet._told_short = {"c": 3.0}
+    assert fleet.shortfall_error() == 0.5  # two units were short, the third try had none due
+
+
 # Real processes -----------------------------------------------------------------------------------------
 
 
