--- a/tests/test_fleet_attacks.py
+++ b/tests/test_fleet_attacks.py
@@ -16,8 +16,9 @@
 
 from badgeryoke.fleet.calls import read_call
 from fleet import contracts, owed, promises
+from fleet import state as fleet_state
 from fleet.contracts import Capacity, Floors, Lease, Terms, Window
-from fleet.errors import BadCall, NoLeader, NoRoom, WrongState
+from fleet.errors import BadCall, Crowded, NoLeader, NoRoom, NotThere, TakenId, WrongState
 from fleet.events import (
     Change,
     Done,
@@ -36,6 +37,7 @@
 from fleet.founding import Founding, Record
 from fleet.groups import Enrol, Moved, Placing, Replace, copies_for
 from fleet.invariants import Invariants
+from fleet.leases import MOST_GAP_MS, Divided
 from fleet.log import Log, encode_config
 from fleet.membership import DEAD, SUSPECT, Membership
 from fleet.messages import (
@@ -62,7 +64,7 @@
 from fleet.part import FLEET, Applied, Command, View
 from fleet.replica import MOST_BODY, MOST_HELD, MOST_SNAPSHOT, Replica, Role
 from fleet.setup import FOUNDING
-from fleet.state import encode
+from fleet.state import GroupState, encode
 from fleet.timings import Timings
 from lab.fleet.faults import Plan
 from lab.fleet.world import FleetWorld
@@ -388,6 +390,90 @@
     assert [copies_for(most, members) for most, members in ((5, 4), (4, 9), (3, 2), (3, 1))] == [3, 3, 2, 1]
 
 
+# What a group's log is applied to --------------------------------------------------------------------------------------
+
+
+def state() -> GroupState:
+    return GroupState("g0", Timings(), Invariants())
+
+
+def put(made: GroupState, index: int, id_: str, name: str, value: str, at_ms: float = 1.0) -> Applied:
+    return made.apply(0.0, index, encode(at_ms, promises.Promise(id=id_, name=name, value=value)))
+
+
+def test_ids_answers_and_time_outlive_a_snapshot_and_the_oldest_id_goes_first(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(fleet_state, "MOST_IDS", 3)
+    made, other = state(), state()
+    for number in range(4):
+        assert put(made, number + 1, f"o{number}", "n", f"v{number}", 5000.0 - number).error is None
+    assert made.at_ms == 5000.0  # time goes on, never back
+    assert list(made._ids) == ["o1", "o2", "o3"]
+    put(other, 1, "x", "gone", "v")
+    other.restore(0.0, made.dump())
+    assert other.at_ms == 5000.0 and other.dump() == made.dump()  # and nothing is left of what was there
+    for one in (made, other):
+        assert put(one, 9, "o3", "n", "v3").value == "v2"  # as the first time
+        assert isinstance(put(one, 10, "o3", "n", "other").error, TakenId)
+        assert one.look(promises.PromiseRead(id="r", name="n")).value == "v3"
+
+
+def test_a_lease_is_timed_from_where_its_entry_was_seen() -> None:
+    made = state()
+    opened = contracts.Open(id="o", tenant="t", contract="c", version=1, rate=9.0, burst=0.0, times=((0.0, 1e9),),
+                            holds_from_ms=0.0)
+    asked = Lease(id="1", tenant="t", contract="c", holder="a/1", number=0, keep=0.0, wish=9.0, room=0.0)
+    for index, command in enumerate((opened, asked), 1):
+        made.apply(700.0, index, encode(1.0, command))
+    assert [one.seen for one in made.parts["floors"].held["c"].parts.held.values()] == [700.0]
+
+
+def test_names_are_bounded_and_a_known_one_goes_on(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(promises, "MOST", 1)
+    made = state()
+    assert put(made, 1, "1", "n", "v").value is None
+    assert isinstance(put(made, 2, "2", "other", "v").error, Crowded)
+    assert put(made, 3, "3", "n", "w").value == "v"
+
+
+def test_a_batch_is_owed_until_it_is_told_and_is_given_out_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    def owe(id_: str, at_ms: float = 0.0) -> Applied:
+        return made.apply(at_ms, owed.Owe(id=id_, tenant="t", by="a/1", lines=(owed.Line("n", 3.0, 1000.0),)))
+
+    def claim(batch: str, by: str) -> Applied:
+        return made.apply(1.0, owed.Claim(id=f"{batch}{by}", tenant="t", batch=batch, by=by))
+
+    def told(batch: str, by: str, known: bool) -> Applied:
+        return made.apply(2.0, owed.OwedTold(id="t", tenant="t", batch=batch, by=by, known=known))
+
+    monkeypatch.setattr(owed, "MOST", 2)
+    made = owed.Owed()
+    assert owe("1").error is None and owe("2").error is None and isinstance(owe("3").error, Crowded)
+    assert claim("1", "b/1").value == [["n", 3.0, 1000.0]]
+    again = owed.Owed()
+    again.load(msgspec.msgpack.decode(msgspec.msgpack.encode(made.dump())))
+    made = again
+    assert made.look(owed.OwedRead(id="r", tenant="t")).value == ["2"]  # what is being told is not offered
+    assert isinstance(claim("1", "c/1").error, WrongState) and isinstance(told("1", "c/1", True).error, NotThere)
+    assert told("1", "b/1", True).value and made.unknown == 0.0
+    assert claim("2", "b/1").value and told("2", "b/1", False).value and made.unknown == 3.0
+    assert owe("4").error is None and owe("5", owed.LATE_MS + 1.0).error is None
+    assert made.unknown == 6.0 and made.look(owed.OwedRead(id="r", tenant="t")).value == ["5"]
+
+
+def test_a_holder_keeps_no_more_than_it_had_and_only_its_present_lease_ends() -> None:
+    whole, rules = Divided(10.0), Invariants()
+    assert whole.ask("a", 0, 0.0, 6.0, 0.0, rules).part == 6.0  # type: ignore[union-attr]
+    assert isinstance(whole.ask("a", 1, 7.0, 7.0, 0.0, rules), BadCall)
+    assert whole.ask("a", 1, 6.0, 6.0, 0.0, rules).number == 2  # type: ignore[union-attr]
+    assert not whole.end("a", 1) and whole.granted() == 6.0 and whole.end("a", 2)
+
+
+def test_a_leap_of_the_groups_time_fills_no_bucket() -> None:
+    whole = Divided(10.0, 100.0, free=0.0, at_ms=1000.0)
+    whole.accrue(3_600_000.0)
+    assert whole.free == 10.0 * MOST_GAP_MS / 1000.0
+
+
 # What stands in the code -----------------------------------------------------------------------------------------------
 
 TERMS: dict[str, Any] = {"tenant": "t", "customers": [1], "rate": 50.0, "burst": 10.0}
