Let a try that a lost member never answers keep no call waiting

One try without an answer held back all that came after: a refusal that named the leader was not followed, and each further try waited half a second. A route to a member that is dead was asked first by each new call.

--- a/fleet/node.py
+++ b/fleet/node.py
@@ -368,7 +368,7 @@
         replica = self.replicas.get(group)
         if replica is not None and replica.leader and replica.leader != self.me and round_ % 2 == 1:
             return replica.leader
-        if round_ == 1 and group in self._routes:
+        if round_ == 1 and self._routes.get(group) in self.membership.alive():
             return self._routes[group]
         alive = self.membership.alive()
         others = [who for who in self._placed.get(group, ()) if who != self.me]
@@ -386,7 +386,7 @@
             # a leader can promise nothing any more there will be another one.
             call.last = result
             call.maybe = call.maybe or isinstance(result, UnknownOutcome)
-            if not call.open:
+            if number == call.tries:  # an earlier one without an answer, at a lost member, keeps nobody waiting
                 call.again = now + PAUSE_MS * self._draw.uniform(0.5, 1.5)
                 self.due = min(self.due, call.again)
             return []
@@ -450,8 +450,8 @@
         elif self._routes.get(call.group) == sender:
             del self._routes[call.group]
         number = int(digits)
-        if isinstance(result, NoLeader) and list(call.open) == [number] and leader not in ("", sender, self.me):
-            call.open.clear()
+        if isinstance(result, NoLeader) and number == call.tries and leader not in ("", sender, self.me):
+            call.open.pop(number, None)
             call.again = now + self._timings.call_ms * TRY_PART
             return self._forward(wall, token, call, leader)
         return self._end(now, token, number, result)
