Find who copies a group when all that a member knew of it are gone; three moves at once

Every member now hears who copies what every 3 s, asks by names rather than Ids, and every other round whoever lives.

--- a/fleet/node.py
+++ b/fleet/node.py
@@ -63,6 +63,7 @@
 TRY_PART = 0.25  # of `call_ms`, after which a call without an answer is made again: its id makes that harmless
 PAUSE_MS = 40.0  # before a call that found no leader is made again
 LATE_MS = 1000.0  # a voter that has not caught up for so long is reported as behind
+HEARD_MS = 3000.0  # any other member reads it so often, to know whom to ask
 SOON_MS = 50.0  # and again so soon, while something changes
 PLACES_MS = 400.0  # a member that leads a group reads so often who is to copy it
 ANY = "*"  # in Setup.servers: each server that is not named
@@ -121,7 +122,7 @@
         self._changing: dict[str, None] = {}  # groups with a change of members under way here
         self._places = Placing(setup.timings, rules)  # who is to copy what, as last read
         self._reading = False
-        self._places_at = now
+        self._places_at = self._heard_at = now
         self._lags: dict[tuple[str, Id], float] = {}  # voters of groups led here that have not caught up, since when
         self._ahead: dict[str, float] = {}  # others' wall clocks less this one's
         self.ahead = 0.0  # the fleet's time less this machine's, ms
@@ -370,9 +371,10 @@
             return replica.leader
         if round_ == 1 and self._routes.get(group) in self.membership.alive():
             return self._routes[group]
-        alive = self.membership.alive()
-        others = [who for who in self._placed.get(group, ()) if who != self.me]
-        others = [who for who in others if who in alive] or others
+        alive = {name_of(who): who for who in self.membership.alive() if who != self.me}
+        others = [alive[name] for who in self._placed.get(group, ()) if (name := name_of(who)) in alive]
+        if not others or round_ % 4 >= 2:  # copies may have moved since this member last heard: whoever lives
+            others = sorted(alive.values())
         return others[round_ % len(others)] if others else ""
 
     def _end(self, now: float, token: str, number: int, result: Applied | FleetError) -> list[Effect]:
@@ -501,9 +503,11 @@
         return answer
 
     def _read_places(self, now: float, wall: float) -> list[Effect]:
-        """Where something is led here: bring its members in line with what the fleet's group wants."""
-        if self._reading or not any(replica.leading for replica in self.replicas.values()):
+        """Hear now and then who copies what; where something is led here, bring its members in line with it."""
+        leads = any(replica.leading for replica in self.replicas.values())
+        if self._reading or not (leads or self._heard_at <= now):
             return []
+        self._heard_at = now + HEARD_MS
         self._reading = True
 
         def read(at: float, result: Applied | FleetError) -> list[Effect]:
--- a/fleet/timings.py
+++ b/fleet/timings.py
@@ -21,7 +21,7 @@
     most_in_flight: int = 64  # proposals of one group at its leader; more are refused
     most_batch: int = 128  # entries of one append
     piece_bytes: int = 64 * 1024  # of a snapshot
-    repair_at_once: int = 2  # copies made at one time, over the whole fleet
+    repair_at_once: int = 3  # copies made at one time, over the whole fleet
 
     def outlast(self) -> float:
         """After so long by any clock within the drift, a lease of `lease_ms` by another's clock is over."""
