--- /dev/null
+++ b/lab/core_cost.py
@@ -0,0 +1,123 @@
+"""CPU a query of the core, side by side in one run: the fleet's part off, on without a contract, with another tenant's
+contract, and with one that every query is drawn from.
+
+    python -m lab.core_cost [rounds]
+
+Each round plays a hundred queries in each of the four, in an order drawn anew; the ratio is the middle one of all
+rounds, since a busy machine slows whole rounds.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+import statistics
+import sys
+import time
+from collections.abc import Callable
+from typing import Any
+
+from badgeryoke.actor import Turns
+from badgeryoke.core import Core
+from badgeryoke.execution import Execution, Query
+from fleet.floor import Floor, Stake
+from fleet.timings import Timings
+from martenstep import interface as api
+
+QUERIES, ROUNDS = 100, 500
+KINDS = ("off", "no contract", "another's contract", "drawn")
+
+
+class Loop:
+    """Callbacks of now; timers, of which none comes due here, are forgotten."""
+
+    def __init__(self) -> None:
+        self.now, self._soon = 0.0, list[tuple[Callable[..., object], tuple[Any, ...]]]()
+
+    def time(self) -> float:
+        return self.now
+
+    def call_soon(self, callback: Callable[..., object], *args: Any) -> Any:
+        self._soon.append((callback, args))
+
+    def call_later(self, delay: float, callback: Callable[..., object], *args: Any) -> Any:
+        return self
+
+    def cancel(self) -> None:
+        pass
+
+    def run(self) -> None:
+        self.now += 0.001
+        soon, self._soon = self._soon, []
+        for callback, args in soon:
+            callback(*args)
+
+
+class World:
+    """One core and a server that answers at once."""
+
+    def __init__(self, kind: str) -> None:
+        self.loop, self._out, self._answers, self._asked = Loop(), list[Execution](), 0, 0
+        cls = api.RequestClass("read", 400.0, 2000.0, api.Effect.SAFE)
+        settings = api.Settings(0, 1, "a", 2.0, (cls,), (api.Plan("plan", 1e6, 1e6),), can_cancel=True, max_attempts=3)
+        self.core = Core(settings, 1, Turns(self.loop), lambda: self.loop.now * 1000.0, lambda _: self, self,
+                         reserves=kind != "off")
+        self.core.members(api.Members(api.Scope.FULL, tuple(
+            api.Server(number, "a", "std", 0, api.State.UP) for number in range(1, 9))))
+        if kind != "off":
+            floor = Floor("a", "p", Timings())
+            if kind != "no contract":
+                self._stake(floor, 5 if kind == "drawn" else 6)
+            self.core.guarantee(floor, lambda: self.loop.now * 1000.0)
+
+    @staticmethod
+    def _stake(floor: Floor, customer: int) -> None:
+        facts = {"versions": [{"holds_from_ms": 0.0, "rate": 1e6, "burst": 1e6, "times": [(0.0, math.inf)],
+                               "customers": [customer]}], "contract": "peak", "tenant": "t", "rank": 1, "hall": ""}
+        floor._learn(0.0, 1, [facts])
+        one: Stake = floor.stakes["peak"]
+        one.part = one.cap = one.level = one.fair = one.wish = 1e9
+        one.ends = one.until_ms = math.inf
+
+    def add(self, *_: object) -> None:
+        raise AssertionError("no counter here")
+
+    def start(self, execution: Execution) -> None:
+        self._out.append(execution)
+
+    def _answered(self, answer: object) -> None:
+        self._answers += 1
+
+    def play(self) -> float:
+        """CPU seconds of so many queries."""
+        begun = time.process_time()
+        for _ in range(QUERIES):
+            self._asked += 1
+            self.core.submit(Query(str(self._asked), "read", "plan", 5, 2000.0, 1.0, 1), self._answered)
+            self.loop.run()
+            for execution in self._out:
+                execution.written()
+                execution.served(b"1")
+            self._out.clear()
+            self.loop.run()
+        took = time.process_time() - begun
+        assert self._answers == self._asked
+        return took
+
+
+def main(rounds: int) -> None:
+    """Play, and say what came of it."""
+    worlds = {kind: World(kind) for kind in KINDS}
+    took: dict[str, list[float]] = {kind: [] for kind in KINDS}
+    order, draw = list(KINDS), random.Random(1)
+    for _ in range(rounds):
+        draw.shuffle(order)
+        for kind in order:
+            took[kind].append(worlds[kind].play())
+    for kind in KINDS:
+        ratio = statistics.median(one / off for one, off in zip(took[kind], took["off"], strict=True))
+        print(f"{kind:20} {min(took[kind]) / QUERIES * 1e6:6.1f} us a query at the least, ratio {ratio:.3f}")
+
+
+if __name__ == "__main__":
+    main(int(sys.argv[1]) if len(sys.argv) > 1 else ROUNDS)
