--- a/tests/test_fleet_attacks.py
+++ b/tests/test_fleet_attacks.py
@@ -82,7 +82,7 @@
 from fleet.part import FLEET, Applied, Command, View
 from fleet.replica import MOST_BODY, MOST_HELD, MOST_SNAPSHOT, Replica, Role
 from fleet.setup import FOUNDING
-from fleet.state import GroupState, encode
+from fleet.state import GroupState, decode, encode
 from fleet.timings import Timings
 from lab.fleet.clock import UNIX_MS
 from lab.fleet.faults import Plan
@@ -509,7 +509,9 @@
 
 
 def forwards(effects: list[Any]) -> list[Forward]:
-    return [one.message for one in effects if isinstance(one, Send) and isinstance(one.message, Forward)]
+    """Of `PUT`; a node has calls of its own as well."""
+    return [one.message for one in effects if isinstance(one, Send) and isinstance(one.message, Forward)
+            and isinstance(decode(one.message.body)[1], promises.Promise)]
 
 
 PUT = Call("t", promises.Promise(id="1", name="n", value="v"))
