--- a/lab/fleet/world.py
+++ b/lab/fleet/world.py
@@ -15,11 +15,14 @@
 from random import Random
 from typing import Any
 
+import msgspec
+
 from fleet.errors import FleetError
 from fleet.events import Call, Done, Effect, Leave, NodeEvent, Received, Saved, Say, Send, Store, Tick
 from fleet.groups import group_of
 from fleet.invariants import Broken, Invariants
 from fleet.messages import (
+    CONFIG,
     AnyMessage,
     Append,
     Appended,
@@ -46,6 +49,7 @@
 CLIENT_MS = 500.0  # that a client waits beyond the call's own time
 MOST_TRIES = 8
 LOOK_MS = 50.0
+MOST_CONFIGS = 4
 SETTLE_MS = 40_000.0  # within which a mended fleet has to answer again
 NodeType = Callable[[Setup, dict[str, Saved], Random, float, float, Invariants, Iterable[Holder]], Node]
 
@@ -113,6 +117,7 @@
         self._leaders: dict[tuple[str, int], str] = {}
         self._votes: dict[tuple[str, str, int], str] = {}
         self.most_leaders = 1
+        self._configs: dict[str, list[Config]] = {}  # the last that leaders told of each group: one counts at once
         self._commits: dict[str, int] = {}  # highest that a leader told, for each group
         self._before: dict[str, int] = {}  # the same at the look before
         self._loss_at = math.inf
@@ -261,6 +266,12 @@
             if leader != machine.id:
                 self.most_leaders = max(self.most_leaders, 2)
                 self.found("two-leaders", f"{at}: {leader} and {machine.id}")
+            if isinstance(message, Append):
+                for entry in message.entries:
+                    if entry.kind == CONFIG:
+                        told = self._configs.setdefault(message.group, [])
+                        told.append(msgspec.msgpack.decode(entry.body, type=Config))
+                        del told[:-MOST_CONFIGS]
             if isinstance(message, Append) and message.commit > self._commits.get(message.group, 0):
                 self._commits[message.group] = message.commit
                 self._check_commit(machine, message.group, message.commit)
@@ -286,7 +297,7 @@
         """What a leader tells as committed is on the disks of a majority, or was when they said so."""
         mine = leader.disk.groups.get(group, Kept())
         entry = mine.at(index)
-        configs: list[Config] = []
+        configs = list(self._configs.get(group, ()))
         have: set[str] = set()
         for machine in self.machines.values():
             known = {**machine.disk.lost, machine.disk.incarnation: machine.disk.groups}
--- a/tests/test_fleet_planted.py
+++ b/tests/test_fleet_planted.py
@@ -19,7 +19,7 @@
 from lab.fleet.disk import Disk
 from lab.fleet.drawn import Played, play
 from lab.fleet.faults import Plan, draw
-from lab.text.scenario import ContractText, Fault
+from lab.text.scenario import ContractText, Fault, RollText
 
 Patch = Callable[[pytest.MonkeyPatch], None]
 
@@ -259,10 +259,10 @@
     "a lost machine's connections counted closed": Planted(no_idle_time, ("connections-over",), ("drains",), 24, 5),
     "connections returned too soon": Planted(returned_too_soon, ("connections-over",), ("drains",), 6, 5),
     "connections opened before granted": Planted(opened_before_granted, ("OPEN_UNDER_LEASE",), ("drains",), 3),
-    "a wave without waiting for copies": Planted(unwatched_copies, ("wave-before-copies",), ("drains",), 24, 5),
+    "a wave without waiting for copies": Planted(unwatched_copies, ("wave-before-copies",), ("gone",), 12),
     "a gateway drained again": Planted(any_round, ("ROLL_FORWARD", "drained-twice"), ("drains",), 3, 3),
-    "a snapshot that lacks a promise": Planted(snapshot_without_ids, ("lost", "not-linear"), ("machines", "storm"), 6, 3,
-                                              {**FEW, "snapshot_entries": 20}),
+    "a snapshot that lacks a promise": Planted(snapshot_without_ids, ("lost", "not-linear", "twice"), ("storm",), 24, 3,
+                                              {**FEW, "keys": 24, "snapshot_entries": 20}),
 }
 
 
@@ -290,10 +290,18 @@
                 contracts=(ContractText("c", (1, 3), 120.0, 20.0, 5000.0, 60_000.0),))
 
 
+def gone(seed: int) -> Plan:
+    """A roll is asked for while a lost machine's copies are still missing."""
+    who = ((Random(seed).randint(1, 5),),)
+    return Plan(seed, 5, length_ms=10_000.0, proposals=5.0, connections=10, servers=1,
+                faults=(Fault(2500.0, "lose", "gateway", who), Fault(9500.0, "start", "gateway", who)),
+                rolls=(RollText("r", 4000.0, tuple(n for n in range(1, 6) if n != who[0][0])),))
+
+
 def plans(planted: Planted) -> Iterable[Plan]:
     for seed in range(1, planted.seeds + 1):
         for kind in planted.kinds:
-            own = {"restless": restless, "frozen": frozen}.get(kind)
+            own = {"restless": restless, "frozen": frozen, "gone": gone}.get(kind)
             drawn = own(seed) if own is not None else draw(seed, planted.members, kind)
             yield replace(drawn, **planted.changes)
 
