Answer what comes late on a connection that ends, and close one long idle whole

Seen by reading the end of a gateway for paths that lose a query: 1 s after the drain has turned to closing, a connection that was kept open by a long query read on and dropped what it read (ClientLink._end_now sets _broken, _take returns): read, and never answered, which is lost. And an idle connection was closed for writing only, and for 0.2 s read and dropped what crossed that (ClientLink._finish), where a query that is not read is sent again by its client.

Change: after its time an ending connection refuses each command at once and closes as soon as nothing is open; one whose last answer is 0.2 s old is closed whole.

--- a/badgeryoke/resp/client_link.py
+++ b/badgeryoke/resp/client_link.py
@@ -29,8 +29,9 @@
 MOST_FAULTS = 3  # commands refused as malformed on one connection, after which it is closed
 MOST_MS, MOST_UNITS, MOST_GATEWAYS = 1e7, 1e6, 1_000_000  # the core knows narrower bounds
 LINGER_S = 0.2  # for the client to fetch its last answer and close
-# A connection that is to end takes what still comes for so long; one that never stops asking is then cut off
-# behind an answer, and what lies behind that was not taken.  A new one has so long to ask its first.
+# A connection that is to end takes what still comes for so long.  What comes later is refused at once, and one that
+# never stops asking is cut off behind an answer: what lies behind that was not read.  A new one has so long to ask
+# its first.
 END_TAKES_S, END_FIRST_S = 1.0, 0.5
 MOST_WAITING = 64  # commands of one connection that wait for their answers; more are not read meanwhile
 PIECE = 32 * 1024  # of a long value is written at once; the next when this one has gone out
@@ -115,6 +116,8 @@
         self._slots: deque[_Slot] = deque()
         self._ending = False  # closes once what was taken is answered
         self._broken = self._finished = False  # nothing that comes then can be taken
+        self._late = False  # it should have ended: what comes is refused, and what is unread stays so
+        self._told_at = -math.inf  # when an answer was last written
         self._room = asyncio.Event()
         self.spoke = False  # a whole command has come
         self.idle_since = loop.time()  # when it last had a command open, or was opened
@@ -196,6 +199,9 @@
             except (ValueError, OverflowError) as fault:
                 self._refuse(slot, f"syntax: {fault}")
                 return
+            if self._late:  # read, it is owed an answer: dropped, it would be lost with the connection
+                slot.reply = encode(Refused(1.0))
+                return
             slot.left = self._core.submit(query, lambda answer: self.post(self._answered, slot, answer))
         elif name == b"PING":
             slot.reply = PONG if self._ready() else error("ERR not ready")
@@ -232,6 +238,7 @@
         if self._stream.closed():
             return
         if out:
+            self._told_at = self._loop.time()
             try:
                 self._stream.write(b"".join(part for part in out if part)).add_done_callback(self._fetched)
             except StreamClosedError:
@@ -286,10 +293,13 @@
             return
         if self._stream.writing():
             self._loop.call_later(0.01, self.deliver, self._finish)
-        elif not self._broken and (not self._parser.idle or _unread(self._stream)):
+        elif not self._broken and not self._late and (not self._parser.idle or _unread(self._stream)):
             pass  # sent before our end: it is read and answered, and that turn comes here again
         elif not self._finished:
             self._finished = True
+            if self._loop.time() - self._told_at >= LINGER_S:  # its last answer is long there
+                self._stream.close()  # what crosses this is not read, so the client sends it again
+                return
             with contextlib.suppress(OSError):
                 self._stream.socket.shutdown(socket.SHUT_WR)
             self._loop.call_later(LINGER_S, self._stream.close)
@@ -304,11 +314,15 @@
     def _end(self) -> None:
         if not self._leaving:
             self._leaving = True
-            self._loop.call_later(END_TAKES_S, self.deliver, self._end_now)
+            self._loop.call_later(END_TAKES_S, self.deliver, self._end_late)
             if not self.spoke:
                 wait_s = max(self.opened_at + END_FIRST_S - self._loop.time(), 0.0)
                 self._loop.call_later(wait_s, self.deliver, self._silent)
 
+    def _end_late(self) -> None:
+        """It has had its time: it ends as soon as nothing is open."""
+        self._late = self._ending = True
+
     def _silent(self) -> None:
         """It had its time to ask."""
         self._ending = True
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -262,3 +262,39 @@
             await app.done.wait()
 
     play(test)
+
+
+def test_what_comes_behind_a_long_query_while_the_gateway_ends_gets_its_answer(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    """Read and dropped where the connection had stayed open for longer than it takes queries."""
+    monkeypatch.setattr(client_link_module, "END_TAKES_S", 0.05)
+
+    async def test() -> None:
+        async with operated(script=[None], drain_s=0.05) as (app, node):
+            reader, writer = await connect(app.address)
+            writer.write(query("long"))
+            await until(lambda: node.commands)
+            [link] = app._front.links
+            app.end()
+            await until(lambda: link._ending)
+            writer.write(query("behind"))
+            await until(lambda: len(link._slots) == 2)
+            node.writers[0].write(b"*1\r\n$4\r\nlast\r\n")
+            assert await reader.read() == b"$4\r\nlast\r\n-BUSY 1\r\n"
+
+    play(test)
+
+
+def test_a_connection_idle_for_long_is_closed_whole_so_that_nothing_is_read_and_dropped() -> None:
+    async def test() -> None:
+        async with operated(drain_s=0.05) as (app, _):
+            reader, writer = await connect(app.address)
+            writer.write(query())
+            assert await reader.readexactly(11) == b"$5\r\nvalue\r\n"
+            [link] = app._front.links
+            link._told_at -= client_link_module.LINGER_S
+            app.end()
+            assert await reader.read() == b"" and link._stream.closed()
+            writer.close()
+
+    play(test)
