Bound what a contract's call may carry, tell a stale lease ask, and sum parts as they change

A customer's number above 64 bits and a window that recurs without end raised OverflowError within the node; a first ask for a lease that came again late took a part that nobody used for 2 s. Numbers are bounded and named by their key, and an ask carries its process and order, by which the tenant's group refuses one that comes behind a later one.

An ask summed all parts, wishes and depths again and again.

--- a/fleet/connections.py
+++ b/fleet/connections.py
@@ -240,7 +240,7 @@
         aim = min(even if first else math.ceil(given.fair - EDGE), ask.wish)
         granted = parts.granted()
         if held.part < aim and limit - granted >= 1.0 - EDGE:
-            held.part += 1.0
+            parts.grow(who, 1.0)
             granted += 1.0
         if limit - granted >= 1.0 - EDGE and not first:
             aim = max(aim, int(held.part))  # nobody is short: what lies idle may stay open
--- a/fleet/contracts.py
+++ b/fleet/contracts.py
@@ -31,9 +31,9 @@
 
 import msgspec
 
-from fleet.errors import AnyError, BadCall, Crowded, NoRoom, NotThere, WrongState
+from fleet.errors import AnyError, BadCall, Crowded, LeaseOver, NoRoom, NotThere, WrongState
 from fleet.invariants import Invariants, Rule
-from fleet.leases import EDGE, Divided, Grant
+from fleet.leases import EDGE, MOST_HOLDERS, Divided, Grant
 from fleet.messages import Id
 from fleet.part import Applied, Command, View
 from fleet.timings import Timings
@@ -45,10 +45,12 @@
 MOST_SPANS = 512  # times that one contract's windows come to
 MOST_SPANS_IN_ALL = 20_000
 MOST_REPORTERS = 1024  # of what one contract is short, gateway by gateway and cause by cause
+MOST_PROCESSES = 4  # of one holder whose calls are told from each other
 MOST_FLOORS = 1000  # contracts of one tenants' group
 MOST_TRIES = 200  # moments looked at for when a proposal would fit
 LONGEST_MS = 366 * 24 * 3_600_000.0  # from the first window's begin to the last one's end
 HIGHEST = 1e9  # a rate or a burst
+MOST_NUMBER = 1 << 53  # of anything counted: no link and no store has to carry a longer one
 RANKS = 9  # classes of importance, 1 goes last when capacity falls short
 ARM_MS = 10_000.0  # before its window a contract is armed, and gateways begin to ask
 EARLY_MS = 1000.0  # before its window parts are granted, for use from its begin
@@ -147,6 +149,8 @@
             return f"tenant: expected 1 to 64 of letters, digits, '.', '_' and '-', got {self.tenant[:64]!r}"
         if not 1 <= len(self.customers) <= MOST_CUSTOMERS or len(set(self.customers)) < len(self.customers):
             return f"customers: expected 1 to {MOST_CUSTOMERS}, each once"
+        if not all(0 <= one < MOST_NUMBER for one in self.customers):
+            return "customers: expected numbers from 0 to below 2^53"
         if not 0.0 < self.rate <= HIGHEST:
             return f"rate: expected above 0 and at most {HIGHEST:g}, got {self.rate!r}"
         if not 0.0 <= self.burst <= HIGHEST:
@@ -168,7 +172,9 @@
                 return "windows: every_ms: expected the window's own length at the least"
             if not one.from_ms < one.until_ms <= one.from_ms + LONGEST_MS:
                 return "windows: until_ms: expected behind from_ms, within 366 days"
-        count += _times(one)
+        # Before it is counted: a short one within a long time may come to more than any number.
+        many = one.every_ms > 0.0 and one.until_ms - one.from_ms > MOST_SPANS * one.every_ms
+        count += MOST_SPANS + 1 if many else _times(one)
         if count > MOST_SPANS:
             return f"windows: they come to more than {MOST_SPANS}"
     found = spans(windows)
@@ -245,6 +251,9 @@
     contract: str
     version: int
 
+    def fault(self) -> str:
+        return _counted("version", self.version)
+
 
 class Short(Command, frozen=True, kw_only=True):
     """Units within the contract that were not served at one gateway, by cause: its total since it began to count, so
@@ -283,6 +292,9 @@
 
     have: int = -1
 
+    def fault(self) -> str:
+        return _counted("have", self.have + 1)
+
 
 # Commands of a tenant's group ----------------------------------------------------------------------------------------
 
@@ -305,7 +317,7 @@
     holds_from_ms: float
 
     def fault(self) -> str:
-        good = self.version >= 1 and 0.0 < self.rate <= HIGHEST and 0.0 <= self.burst <= HIGHEST
+        good = 1 <= self.version < MOST_NUMBER and 0.0 < self.rate <= HIGHEST and 0.0 <= self.burst <= HIGHEST
         return "" if good and len(self.times) <= MOST_SPANS else "version: out of bounds"
 
 
@@ -323,12 +335,16 @@
     need: float = 0.0
     soft: bool = False
     least: float = 0.0
+    process: str = ""  # of the holder; and the order of its calls: one that comes behind a later one is stale
+    order: int = 0
 
     def fault(self) -> str:
         figures = (self.keep, self.wish, self.room, self.hold, self.need, self.least)
         if not all(0.0 <= one <= HIGHEST for one in figures):
             return "keep: expected 0 to 1e9, and the other figures as well"
-        return "" if 0 < len(self.holder) <= 200 and self.number >= 0 else "holder: expected a name, and a number"
+        if said := _counted("number", self.number) or _counted("order", self.order):
+            return said
+        return "" if 0 < len(self.holder) <= 200 and len(self.process) <= 64 else "holder: expected a name"
 
 
 class TurnFloor(_OfTenant, frozen=True, kw_only=True):
@@ -360,6 +376,9 @@
     holder: Id
     number: int
 
+    def fault(self) -> str:
+        return _counted("number", self.number)
+
 
 FLEET_COMMANDS: tuple[type[Command], ...] = (Capacity, Propose, Change, CancelContract, Told, Short, Pass, ContractsRead,
                                              ContractsKnown)
@@ -367,6 +386,10 @@
 COMMANDS: tuple[type[Command], ...] = FLEET_COMMANDS + TENANT_COMMANDS
 
 
+def _counted(key: str, number: int) -> str:
+    return "" if 0 <= number < MOST_NUMBER else f"{key}: expected 0 to below 2^53"
+
+
 def _named(contract: str) -> str:
     return "" if NAME.fullmatch(contract) else "contract: expected 1 to 64 of letters, digits, '.', '_' and '-'"
 
@@ -848,8 +871,27 @@
     coming: Open | None = None
     switch: int = 0  # the last lease's number when this version came into force
     answers: dict[Id, tuple[str, Any]] = field(default_factory=dict)  # the last call of each holder, for a repeat
+    orders: dict[Id, dict[str, int]] = field(default_factory=dict)  # of calls taken: by process, the newest one last
     tally: Tally = field(default_factory=Tally)
 
+    def stale(self, command: Lease) -> bool:
+        """Whether a later call of that holder was taken already.  A holder that was forgotten, which is one that held
+        nothing for longest, begins anew; so does the fifth process before this one, which no call outlives.  Order 0 is
+        none."""
+        if not command.order:
+            return False
+        known = self.orders.pop(command.holder, {})
+        stale = command.process in known and (command.process != next(reversed(known))
+                                              or command.order <= known[command.process])
+        if not stale:
+            known[command.process] = command.order
+            if len(known) > MOST_PROCESSES:
+                del known[next(iter(known))]
+        self.orders[command.holder] = known
+        if len(self.orders) > MOST_HOLDERS:
+            del self.orders[next((who for who in self.orders if who not in self.parts.held), command.holder)]
+        return stale
+
     def through(self) -> bool:
         """Whether no lease of a version before is left."""
         held = self.parts.held.values()
@@ -936,6 +978,8 @@
         known = found.answers.get(command.holder)
         if known is not None and known[0] == command.id:
             return Applied(known[1])
+        if found.stale(command):
+            return Applied(error=LeaseOver(command.holder, "a later call of this holder was taken already"))
         span = next((span for span in found.times if span[0] - EARLY_MS <= at_ms < span[1]), None)
         # Outside of a window nothing is granted; what a holder says that it keeps counts until it is told better.
         wish, soft = (min(command.wish, found.parts.aim), command.soft) if span is not None else (0.0, False)
@@ -1008,7 +1052,7 @@
     def dump(self) -> Any:
         """See fleet.part."""
         return [self.last, [[name, one.tenant, one.version, one.rate, one.times, one.parts.dump(),
-                             msgspec.to_builtins(one.coming), one.switch, one.answers,
+                             msgspec.to_builtins(one.coming), one.switch, one.answers, one.orders,
                              [[[at, by] for at, by in one.tally.told.items()], list(one.tally.due.items()),
                               one.tally.level, one.tally.last, one.tally.owed, one.tally.short]]
                             for name, one in self.held.items()]]
@@ -1016,10 +1060,10 @@
     def load(self, raw: Any) -> None:
         """See fleet.part."""
         self.last, self.held, self._told, self._shorts = raw[0], {}, {}, {}
-        for name, tenant, version, rate, times, parts, coming, switch, answers, tally in raw[1]:
+        for name, tenant, version, rate, times, parts, coming, switch, answers, orders, tally in raw[1]:
             self.held[name] = Floor(tenant, version, rate, [(a, b) for a, b in times], Divided.load(parts),
                                     msgspec.convert(coming, Open | None), switch,
-                                    {who: (asked, value) for who, (asked, value) in answers.items()},
+                                    {who: (asked, value) for who, (asked, value) in answers.items()}, orders,
                                     Tally({at: {who: (asked, drawn) for who, (asked, drawn) in by.items()}
                                            for at, by in tally[0]}, dict(tally[1]), *tally[2:]))
         self._fresh = set(self.held)
--- a/fleet/floor.py
+++ b/fleet/floor.py
@@ -358,7 +358,8 @@
         if one.number == 0:
             need = one.burst()  # of which it is given what falls to it
         one.out = Lease(id=self._id(), tenant=one.tenant, contract=one.contract, holder=self._me, number=one.number,
-                        keep=keep, wish=wish, room=room, hold=hold, need=max(need, 0.0), soft=soft, least=least)
+                        keep=keep, wish=wish, room=room, hold=hold, need=max(need, 0.0), soft=soft, least=least,
+                        process=self._process, order=self._made)
         return one.out
 
     def answered(self, now: float, command: Command, result: Applied | FleetError) -> None:
--- a/fleet/leases.py
+++ b/fleet/leases.py
@@ -29,6 +29,7 @@
 MOST_HOLDERS = 1024
 MOST_GAP_MS = 250.0
 STANDBY = 0.5
+RESUM = 64  # changes between two times that running sums are added up afresh and compared
 MOST_SOFT = 20  # holders that get a part of what no wish needs; each of them asks often
 
 
@@ -75,9 +76,47 @@
     free: float = -1.0  # units of the bucket that nobody holds; begins at `depth`
     even: bool = True
     at_ms: float = 0.0  # the group's time up to which it has accrued
+    # Running sums over `held`: parts, wishes, depths, soft ones, and changes since they were added up.  They are dumped
+    # to the last bit, since every copy has to come to the same ones.
+    sums: list[float] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         self.free = self.depth if self.free < 0 else self.free
+        self.sums = self.sums or self._added()
+
+    def _added(self) -> list[float]:
+        held = self.held.values()
+        return [sum(one.part for one in held), sum(one.wish for one in held), sum(one.cap for one in held),
+                float(sum(one.soft for one in held)), 0.0]
+
+    def _put(self, who: Id, one: Held, sign: float = 1.0) -> None:
+        """Take a holder in, or (-1) out, and bring the sums up to that."""
+        if sign > 0.0:
+            self.held[who] = one
+        else:
+            del self.held[who]
+        sums = self.sums
+        sums[0] += sign * one.part
+        sums[1] += sign * one.wish
+        sums[2] += sign * one.cap
+        sums[3] += sign * one.soft
+        sums[4] += 1.0
+        if not self.held:
+            self.sums = [0.0] * 5
+
+    def _summed(self, rules: Invariants) -> None:
+        """Now and then the sums are added up afresh, so that no error of rounding grows."""
+        if self.sums[4] >= RESUM:
+            afresh = self._added()
+            rules.check(Rule.PARTS_IN_WHOLE, all(abs(old - new) <= 1e-6 * max(1.0, abs(new))
+                                                 for old, new in zip(self.sums[:4], afresh, strict=False)),
+                        lambda: f"running sums {self.sums}, afresh {afresh}")
+            self.sums = afresh
+
+    def grow(self, who: Id, by: float) -> None:
+        """More for a holder, of what nobody has."""
+        self.held[who].part += by
+        self.sums[0] += by
 
     @property
     def whole(self) -> float:
@@ -86,7 +125,7 @@
 
     def granted(self) -> float:
         """The sum of all parts."""
-        return sum(one.part for one in self.held.values())
+        return max(self.sums[0], 0.0)
 
     def resize(self, whole: float, depth: float) -> None:
         """Another whole, and another depth: of a smaller one, units that nobody holds go first."""
@@ -119,14 +158,15 @@
         if mine is None and len(self.held) >= MOST_HOLDERS:
             return BadCall(who, f"{MOST_HOLDERS} hold a part already")
         before, deep = self.granted(), self._caps()
-        self.held.pop(who, None)
+        if mine is not None:
+            self._put(who, mine, -1.0)
         # What it gives back lay in the depth that it gives back, so caps and free units stay within the depth.
         self.free = max(min(self.free + room, self.depth - self._caps() - hold), 0.0)
         if wish <= 0.0 and keep <= 0.0 and hold <= 0.0 and not soft:
             return Grant(0, 0.0, 0.0, self.aim - self.granted(), len(self.held))
         spare = max(self.aim - self.granted(), 0.0)
         fair = self.fair(who, wish, soft)
-        most = max(fair, self.aim - sum(one.wish for one in self.held.values())) if soft else min(wish, fair)
+        most = max(fair, self.aim - self.sums[1]) if soft else min(wish, fair)
         # What it keeps stays its own even above a whole that was made less: it was granted, and is in use.
         part = max(min(most, spare), min(keep, had))
         if self.step:
@@ -138,34 +178,44 @@
         self.free -= given
         cap = hold + min(grow, slack + given)
         self.last += 1
-        self.held[who] = Held(self.last, part, wish, cap, soft)
+        self._put(who, Held(self.last, part, wish, cap, soft))
+        self._summed(rules)
         rules.check(Rule.PARTS_IN_WHOLE, self.granted() <= max(self.aim, before) + 1e-6
                     and self._caps() + self.free <= max(self.depth, deep) + 1e-6,
                     lambda: f"{self.granted():g} of {self.aim:g}, depth {self._caps():g} and {self.free:g} of "
                             f"{self.depth:g} granted to {len(self.held)}")
         return Grant(self.last, part, given, self.aim - self.granted(), len(self.held), cap, fair, fair_cap,
-                     max(most, part - self._lack(who, wish)), self._lack(who, 0.0))
+                     max(most, part - self._lack(who, wish)) if part > most else most,
+                     0.0 if self.even else self._lack(who, 0.0))
 
     def _lack(self, who: Id, wish: float) -> float:
         """What others have less than is due to their wishes beside this one."""
-        others = [one for other, one in self.held.items() if other != who]
-        total = wish + sum(one.wish for one in others)
+        mine = self.held.get(who)
+        total = wish + max(self.sums[1] - (mine.wish if mine is not None else 0.0), 0.0)
         scale = min(self.aim / total, 1.0) if total > 0.0 else 0.0
-        return sum(max(one.wish * scale - one.part, 0.0) for one in others)
+        lack = 0.0
+        for one in self.held.values():
+            if one is not mine and (less := one.wish * scale - one.part) > 0.0:
+                lack += less
+        return lack
 
     def fair(self, who: Id, wish: float, soft: bool = False) -> float:
         """What one wish comes to beside those of all other holders; with what no wish needs where it is soft."""
-        others = [one for other, one in self.held.items() if other != who]
-        left = self.aim - wish - sum(one.wish for one in others)
+        mine = self.held.get(who)
+        theirs, others = self.sums[1], len(self.held)
+        if mine is not None:
+            theirs, others = theirs - mine.wish, others - 1
+        left = self.aim - wish - max(theirs, 0.0)
         if left >= 0.0:
-            lenders = 1 + sum(one.soft for one in others)
+            lenders = 1 + int(self.sums[3]) - (mine is not None and mine.soft)
             if soft:
                 return wish + (left / lenders if lenders <= MOST_SOFT else 0.0)
             return wish + left if self.even else wish
         if not self.even:
             return self.aim * wish / (self.aim - left)
-        left, count = self.aim, len(others) + 1
-        for one in sorted([wish, *(one.wish for one in others)]):  # max-min: the least wishes first
+        left, count = self.aim, others + 1
+        wishes = [wish, *[one.wish for one in self.held.values() if one is not mine]]
+        for one in sorted(wishes):  # max-min: the least wishes first
             share = left / count
             if one > share:
                 return max(min(wish, share), 0.0)
@@ -175,7 +225,7 @@
     def _fair_cap(self, wish: float) -> float:
         """An even part of `STANDBY` of the depth, for when traffic comes up, with one left for a newcomer; and of the
         rest by wishes."""
-        count, total = len(self.held) + 1, wish + sum(one.wish for one in self.held.values())
+        count, total = len(self.held) + 1, wish + max(self.sums[1], 0.0)
         return self.depth * (STANDBY / (count + 1) + (1.0 - STANDBY) * (wish / total if total > 0.0 else 1.0 / count))
 
     def excess(self, who: Id) -> float:
@@ -188,7 +238,7 @@
         mine = self.held.get(who)
         if mine is None or mine.number != number:
             return False
-        del self.held[who]
+        self._put(who, mine, -1.0)
         return True
 
     def over(self, now: float, outlast: float, since: float) -> list[tuple[Id, int]]:
@@ -202,15 +252,15 @@
                 one.seen = now
 
     def _caps(self) -> float:
-        return sum(one.cap for one in self.held.values())
+        return max(self.sums[2], 0.0)
 
     def dump(self) -> Any:
         """Plain data."""
         return [self.aim, self.depth, self.step, self.last, self.free, self.even, self.at_ms,
-                [[who, one.number, one.part, one.wish, one.cap, one.soft] for who, one in self.held.items()]]
+                [[who, one.number, one.part, one.wish, one.cap, one.soft] for who, one in self.held.items()], self.sums]
 
     @classmethod
     def load(cls, raw: Any) -> Divided:
         """From `dump`; what is held counts as seen when it is next looked at."""
-        aim, depth, step, last, free, even, at_ms, held = raw
-        return cls(aim, depth, step, {who: Held(*rest) for who, *rest in held}, last, free, even, at_ms)
+        aim, depth, step, last, free, even, at_ms, held, sums = raw
+        return cls(aim, depth, step, {who: Held(*rest) for who, *rest in held}, last, free, even, at_ms, list(sums))
