Dial a member that has dialled at once, however long the pause has grown

A gateway restarted by a roll was away for 3 to 5 s on a busy machine, in which the others' pauses had grown to 2 s and jitter. It dialled them at once, but its answers and heartbeats waited for their next try: in five restarts the first reading came 0.4 to 3.4 s after its fleet's part had begun. A hello now ends the pause of who is to be dialled back.

--- a/badgeryoke/fleet/links.py
+++ b/badgeryoke/fleet/links.py
@@ -8,7 +8,7 @@
 Whoever has something to say dials.  What waits for one peer never holds up another: each has its own queue, bounded in
 messages and bytes; at the bound the oldest probes, heartbeats and votes go first, then the oldest of all.  Everything
 above allows for loss.  A peer that does not read, or of which nothing is heard while something was sent, is dropped
-with what waited for it, and dialled again after a pause that doubles and is jittered.
+with what waited for it, and dialled again after a pause that doubles and is jittered; at once where it has dialled.
 
 A frame that does not read, of another version, fleet or incarnation ends its connection with a `FleetError`, told once
 in ten minutes for each peer and kind.  There is no secret in a hello: the addresses belong into a
@@ -130,6 +130,7 @@
     spoke: float = 0.0
     idle: bool = False
     news: asyncio.Event = field(default_factory=asyncio.Event)
+    back: asyncio.Event = field(default_factory=asyncio.Event)  # it has dialled: the pause is over
     task: asyncio.Task[None] | None = None
 
     def add(self, to: Id, body: bytes, light: bool, bounds: Bounds) -> None:
@@ -308,6 +309,10 @@
             one.close()  # it dials once at a time
         self._latest[name] = first.sender
         self._inbound[stream] = name
+        peer = self.peers[name]
+        if not peer.up:  # it is there again, and waits for answers: a pause that grew while it was away is over
+            peer.pause = peer.not_before = 0.0
+            peer.back.set()
         return first.sender
 
     def _misdirected(self, envelope: Envelope, sender: Id) -> FleetError | None:
@@ -341,7 +346,10 @@
         bounds, loop = self.bounds, asyncio.get_running_loop()
         try:
             while peer.count and not self._ended:
-                await asyncio.sleep(max(peer.not_before - loop.time(), 0.0))
+                if (pause := peer.not_before - loop.time()) > 0.0:
+                    with contextlib.suppress(TimeoutError):
+                        await asyncio.wait_for(peer.back.wait(), pause)
+                peer.back.clear()
                 began = loop.time()
                 good = await self._converse(peer)
                 if loop.time() - began > bounds.again_most_s:
@@ -390,8 +398,7 @@
                 peer.news.clear()
                 if peer.idle:
                     return True
-                await peer.news.wait()
-                await asyncio.sleep(0)  # what else this turn of the loop has to say
+                await peer.news.wait()  # it wakes behind what else this turn of the loop has to say
                 continue
             if to not in (peer.incarnation, peer.name, peer.name + "/"):
                 peer.lost += len(bodies)
--- a/tests/test_fleet_links.py
+++ b/tests/test_fleet_links.py
@@ -317,3 +317,21 @@
             spoilt[draw.randrange(len(spoilt))] = draw.randrange(256)
         read(bytes(spoilt[:draw.randrange(len(spoilt) + 1)]), "f", "a")
     assert isinstance(read(whole, "f", "a"), Envelope)
+
+
+def test_who_dials_is_dialled_at_once_however_long_the_pause_has_grown() -> None:
+    async def test() -> None:
+        closed = socket.create_server((HOST, 0))
+        port = closed.getsockname()[1]
+        closed.close()
+        here = End("a/1", bounds=replace(SOON, again_least_s=60.0, again_most_s=60.0), b=port)
+        here.links.send("b/1", PING)
+        await until(lambda: here.links.peers["b"].not_before)  # nobody is there
+        here.links.send("b/1", PING)  # waits for a minute
+        there = End("b/1", listening=socket.create_server((HOST, port)), a=here.port)
+        there.links.send("a/1", PING)
+        await until(lambda: there.got)
+        here.links.end()
+        there.links.end()
+
+    play(test)
