--- /dev/null
+++ b/lab/scenarios/roll-leaderless.scm
@@ -0,0 +1,11 @@
+(scenario roll-leaderless
+  (about "The gateway that schedules a rolling drain is killed at each of the roll's steps")
+  (length 20s)
+  (gateways 5 (fleet on) (copies 3) (halls 2))
+  (servers 8 (work 30ms..90ms) (connections 24))
+  (counter (calls 1000/s) (delay 0.3ms..1.9ms) (timeout 50ms))
+  (plan distributor (rate 25/s) (burst 45u) (ceiling 60/s 90u) (slack 8u) (price 1.6x))
+  (customers 6 (plan distributor) (spread 3) (demand 0.4x..0.6x) (retries 50%))
+  (proposals 40/s)
+  (roll nightly (from 4s) (gateways 1 2 3 4 5) (at-once 1)
+    (kill-leader granting pausing emptying acting returning warming)))
--- a/lab/text/scenario.py
+++ b/lab/text/scenario.py
@@ -81,6 +81,7 @@
     from_ms: float
     gateways: tuple[int, ...]
     at_once: int = 1
+    kill_leader: tuple[str, ...] = ()  # SIGKILL for who schedules, when first a gateway stands there
 
 
 @dataclass(frozen=True, slots=True)
@@ -232,6 +233,7 @@
 TO_GATEWAY = (*PLAIN, "lose", "freeze", "thaw", "spoil", "step", "fill", "empty")  # the last two: its disk, full or not
 TO_GATEWAYS = ("cut", "delay", "reset", "narrow", "mend")
 COPIES = (1, 3, 5)
+STANDS = ["granting", "pausing", "emptying", "acting", "returning", "warming"]  # of a gateway in a roll
 Named = TypeVar("Named", ContractText, RollText)
 
 
@@ -293,8 +295,11 @@
     def at_once(sub: Form) -> None:
         changes["at_once"] = _whole(sub, 1, 1, gateways)
 
+    def kills(sub: Form) -> None:
+        changes["kill_leader"] = tuple(_word(sub, place, STANDS) for place in range(1, len(sub.items)))
+
     made = RollText(_word(form, 1), -1.0, tuple(range(1, gateways + 1)))
-    _sub(form, 2, {"from": begins, "gateways": who, "at-once": at_once})
+    _sub(form, 2, {"from": begins, "gateways": who, "at-once": at_once, "kill-leader": kills})
     if "from_ms" not in changes:
         raise _fault(form, f"roll {made.name}: (from ...) is missing")
     return replace(made, **changes)  # type: ignore[arg-type]
