Hold leases on connections to when they count from, what goes back, and who may vouch

The drains' own random runs were passed by a lease counted from its answer, one without its margin for clocks, and dialling up to its end.

--- a/tests/test_fleet_attacks.py
+++ b/tests/test_fleet_attacks.py
@@ -24,6 +24,19 @@
 from fleet import contracts, owed, promises
 from fleet import node as fleet_node
 from fleet import state as fleet_state
+from fleet.connections import (
+    CLOSING_MS,
+    LEASES,
+    OVER,
+    RESET_MS,
+    Connections,
+    ConnEnd,
+    ConnLeases,
+    Keeper,
+    Limit,
+    Unlimit,
+    bucket,
+)
 from fleet.contracts import Capacity, Floors, Lease, Terms, Window
 from fleet.errors import (
     BadCall,
@@ -931,6 +944,125 @@
     assert read("p1", 0.0).lead_nothing and not read("p2", 0.0).lead_nothing
 
 
+# Connections -----------------------------------------------------------------------------------------------------------
+
+
+def limited(most: int = 10) -> Connections:
+    made = Connections(Invariants(), Timings())
+    assert made.apply(0.0, Limit(id="l", server="s", most=most, idle_ms=5000.0)).error is None
+    return made
+
+
+def keeper(begun: float = 0.0, number: int = 1, alone: bool = True) -> Keeper:
+    made = Keeper(f"a/1#boot.{number}", Timings(), Invariants(), begun, alone)
+    made.want("s", 4)
+    return made
+
+
+def leased(made: Keeper, part: Connections, asked: float = 0.0, answered: float = 0.0) -> ConnLeases:
+    command = made.poll(asked, 0.0)[0]
+    assert isinstance(command, ConnLeases)
+    made.answered(answered, command, part.apply(0.0, command))
+    return command
+
+
+def test_a_lease_on_connections_counts_from_before_it_was_asked_for() -> None:
+    made, life = keeper(), Timings().lease_ms * LEASES
+    leased(made, limited(), 0.0, 1000.0)
+    assert made.held(life - 1.0, "s") and not made.held(life, "s")
+    assert made.may_open(life - CLOSING_MS - 1.0, "s") and not made.may_open(life - CLOSING_MS, "s")
+    made.opened(1000.0, "s")
+    assert made.must_close(life - CLOSING_MS) == [("s", 1)] and not made.must_close(life - CLOSING_MS - 1.0)
+
+
+def test_a_lost_holders_connections_wait_for_lease_and_idle_time_by_the_slowest_clock() -> None:
+    times = Timings()
+    both = times.lease_ms * LEASES + 5000.0
+    assert limited().patience(5000.0) >= both * (1.0 + times.clock_drift) / (1.0 - times.clock_drift)
+
+
+def test_what_is_not_known_is_asked_again_as_it_was() -> None:
+    made = keeper()
+    command = made.poll(0.0, 0.0)[0]
+    made.answered(10.0, command, UnknownOutcome("g0", "no answer"))
+    made.want("s", 9)
+    assert made.poll(5000.0, 0.0) == [command]
+    made.answered(5000.0, command, limited().apply(0.0, command))
+    assert made.pools["s"].ends == Timings().lease_ms * LEASES  # from when it was made first
+
+
+def test_a_part_goes_back_without_the_connections_that_are_open() -> None:
+    made, part = keeper(), limited()
+    leased(made, part)
+    for _ in range(3):
+        made.opened(1.0, "s")
+    assert not made.empty
+    made.want("s", 0)
+    made.leaving = True
+    asked = leased(made, part, 4000.0, 4000.0).asks[0]
+    assert asked.keep == 3 and part.servers["s"].parts.granted() >= 3.0
+    for _ in range(2):
+        made.closing("s")
+        made.closed("s", begun=True)
+    made.closing("s")
+    made.closed("s")  # its end came by itself, while it was being closed
+    assert made.pools["s"].open == made.pools["s"].closing == 0
+    assert not made.empty  # it holds a lease yet
+    leased(made, part, 8000.0, 8000.0)
+    assert made.empty and part.servers["s"].parts.granted() == 0.0
+
+
+@pytest.mark.parametrize(("row", "may", "over"), [
+    (["s", OVER, 0, 0, 0], False, 2),  # the lease is over: nothing may be open
+    (["s", 5, 6, 2, 0], False, 0),  # above its aim it opens no more
+    (["s", 5, 6, 1, 0], False, 1),
+    (["s", 5, 6, 3, 0], True, 0),
+])
+def test_a_gateway_goes_by_its_aim_and_by_the_end_of_its_lease(row: list[Any], may: bool, over: int) -> None:
+    made, part = keeper(), limited()
+    leased(made, part)
+    for _ in range(2):
+        made.opened(1.0, "s")
+    command = made.poll(4000.0, 0.0)[0]
+    made.answered(4000.0, command, Applied({"parts": [row], "old": []}))
+    assert made.may_open(4001.0, "s") is may and sum(count for _, count in made.must_close(4001.0)) == over
+
+
+def test_a_process_vouches_for_the_one_before_alone_and_not_at_once() -> None:
+    part = limited()
+    leased(keeper(), part)
+    for sole, at, ends in ((True, RESET_MS - 1.0, False), (True, RESET_MS, True), (False, 2.0 * RESET_MS, False)):
+        made = keeper(0.0, 2, sole)
+        leased(made, again(part), 1.0, 2.0)
+        made.want("s", 0)
+        assert any(isinstance(one, ConnEnd) for one in made.poll(at, 0.0)) is ends
+    elsewhere = ConnEnd(id="e", holder="a/1#boot.1", bucket=bucket("s"), ends=(("s", 1),), proof="reset",
+                        by="a/1#reboot.2")
+    assert part.apply(0.0, elsewhere).error is not None and part.servers["s"].parts.granted() > 0.0
+
+
+def again(part: Connections) -> Connections:
+    """From its snapshot."""
+    made = Connections(Invariants(), Timings())
+    made.load(msgspec.msgpack.decode(msgspec.msgpack.encode(part.dump())))
+    assert made.dump() == part.dump()
+    return made
+
+
+def test_limits_change_without_forgetting_what_is_granted() -> None:
+    part = limited()
+    leased(keeper(), part)
+    granted = part.servers["s"].parts.granted()
+    assert part.apply(0.0, Limit(id="m", server="s", most=1, idle_ms=5000.0)).error is None
+    assert part.servers["s"].parts.granted() == granted > 1.0
+    other = Keeper("b/1#x.1", Timings(), Invariants(), 0.0)
+    other.want("s", 4)
+    leased(other, part)
+    assert part.servers["s"].parts.granted() == granted
+    part.apply(0.0, Unlimit(id="u", server="s"))
+    assert part.servers["s"].parts.granted() == granted  # it is known until all of it has come back
+
+
 # What stands in the code -----------------------------------------------------------------------------------------------
 
 TERMS: dict[str, Any] = {"tenant": "t", "customers": [1], "rate": 50.0, "burst": 10.0}
