Give back leases on nothing when leaving, and forget limits of servers that are gone

A lease whose part was 0 went back at its renewal only, up to 3.3 s later, and held its gateway's roll for so long; a query that came just after a part had been given back waited 200 ms for its next asking. Both ask at once now. Limits of servers that discovery had dropped stayed for good, against a bound of 4,096 a group. Who leads a group takes one back when its own list has not named the server and nobody has held a lease on it for 60 s; a gateway that still lists it and wishes for it in vain states the limit again.

--- a/badgeryoke/fleet/pools.py
+++ b/badgeryoke/fleet/pools.py
@@ -21,7 +21,7 @@
 
 from badgeryoke.actor import READ_CHUNK, Turns, new_socket
 from badgeryoke.fleet.settings import Fleet
-from fleet.connections import CLOSING_MS, Keeper, process
+from fleet.connections import CLOSING_MS, Keeper, Limit, Unlimit, process
 from fleet.errors import FleetError
 from fleet.invariants import Invariants
 from fleet.node import Node
@@ -31,6 +31,9 @@
 log = logging.getLogger("badgeryoke.fleet.pools")
 
 LOOK_S = 0.05  # between two looks at what has to be closed, and at what a roll wants
+SIFT_MS = 5000.0  # between two looks for limits that nobody needs any more
+GONE_MS = 60_000.0  # for which a server is on no list here, and nobody holds a lease on it, until its limit is forgotten
+MOST_GONE = 64  # limits taken back at one look
 BOOT = Path("/proc/sys/kernel/random/boot_id")
 
 
@@ -134,6 +137,9 @@
         self.rolled: Rolled | None = None
         self._node: Node | None = None
         self._timer: asyncio.TimerHandle | None = None
+        self._told = False  # of a list
+        self._sift_at = 0.0
+        self._missing: dict[str, float] = {}  # limits in groups led here, of servers that are not listed, since when
 
     def begin(self, node: object, rules: Invariants) -> None:
         """The node is there, and with it the lock on the member's folder.  One that is only driven has no leases."""
@@ -176,6 +182,7 @@
 
     def listed(self, servers: Iterable[str]) -> None:
         """Discovery's list: whoever leads a group sees to the limits of these."""
+        self._told = True
         self._limits = {**self._named, **{one: most for one in servers if (most := self._limit(one))}}
         if self._node is not None:
             self._node.limits = dict(self._limits)
@@ -236,7 +243,35 @@
         """See fleet.node.Holder."""
         assert self.keeper is not None
         self._wants(self.keeper)
-        return self.keeper.poll(now, wall)
+        made = self.keeper.poll(now, wall)
+        for server in self.keeper.unknown:  # whoever leads its group has no list that names it
+            if most := self._limits.get(server):
+                made.append(Limit(id=f"limit/{self.keeper.me}/{server}/{now:.0f}", server=server, most=most,
+                                  idle_ms=self.idle_ms))
+        self.keeper.unknown.clear()
+        if now >= self._sift_at and self._told:
+            self._sift_at = now + SIFT_MS
+            made += self._sift(now)
+        return made
+
+    def _sift(self, now: float) -> list[Command]:
+        """Limits of servers that are no more, in groups led here: off this gateway's list for long, and unused by all.
+
+        A gateway whose list still names one and that wants it is told that no limit is known, and states it again."""
+        assert self._node is not None
+        missing: dict[str, float] = {}
+        made: list[Command] = []
+        for group, state in self._node.states.items():
+            if not self._node.replicas[group].leading:
+                continue
+            for server, one in state.parts["connections"].servers.items():
+                if server in self._limits or one.parts.held:
+                    continue
+                missing[server] = self._missing.get(server, now)
+                if now - missing[server] >= GONE_MS and len(made) < MOST_GONE:
+                    made.append(Unlimit(id=f"unlimit/{server}/{state.index}", server=server))
+        self._missing = missing
+        return made
 
     def answered(self, now: float, command: Command, result: Applied | FleetError) -> None:
         """See fleet.node.Holder."""
--- a/fleet/connections.py
+++ b/fleet/connections.py
@@ -41,6 +41,7 @@
 RENEWALS = 3.0  # in the life of a lease
 CLOSING_MS = 300.0  # before a lease's end nothing is opened and all is being closed
 SHORT_MS = 200.0  # between two askings for more; doubled while nothing comes, up to a renewal's time
+UNKNOWN_MS = 1000.0  # pause between two askings from which on a server's limit counts as forgotten, not as to come
 RESET_MS = 1000.0  # after a start, until what a process before it had open counts as closed by the kernel
 MOST_SERVERS = 4096  # of one group; more limits are refused
 MOST_ASKS = 256  # servers in one call; the rest goes with the next
@@ -348,6 +349,7 @@
     _out: dict[str, _Out] = field(default_factory=dict)
     _old: dict[str, list[tuple[Id, str, int]]] = field(default_factory=dict)
     _asked_in: set[str] = field(default_factory=set)
+    unknown: dict[str, None] = field(default_factory=dict)  # wished for in vain, no limit is known; the shell's
     _count: int = 0
 
     def want(self, server: str, need: int) -> None:
@@ -413,6 +415,8 @@
             return True
         if wish > pool.part and now - pool.asked >= pool.pause:
             return True
+        if self.leaving and not wish and not pool.open:  # it may hold a lease on nothing: nobody is to wait for that
+            return now - pool.asked >= SHORT_MS / 2
         # Shrunk and closed down to it, or leaving: given back soon.
         return pool.open <= self._cap(now, pool) < pool.part and now - pool.asked >= SHORT_MS / 2
 
@@ -486,11 +490,15 @@
         wishes = {ask.server: ask.wish for ask in command.asks}
         for server, number, part, aim, _spare in result.value["parts"]:
             pool = self.pools.setdefault(server, _Pool())
-            short = part < wishes[server]
-            pool.pause = min(pool.pause * 2, self.timings.lease_ms * LEASES / RENEWALS) if short else SHORT_MS
+            short, longest = part < wishes[server], self.timings.lease_ms * LEASES / RENEWALS
+            pool.pause = min(pool.pause * 2, longest) if short else SHORT_MS
             if number <= 0:
                 # Over, given back, or the server is not known: nothing may be open.
                 pool.number, pool.part, pool.cap, pool.ends = 0, 0, 0, -math.inf
+                if not wishes[server]:  # what was given back may be wished for again at once: a query does not wait long
+                    pool.asked = -math.inf
+                elif number == UNKNOWN and pool.pause >= min(UNKNOWN_MS, longest):
+                    self.unknown[server] = None
                 continue
             pool.number, pool.part, pool.cap = number, part, min(part, aim)
             pool.ends = out.asked + self.timings.lease_ms * LEASES
--- a/tests/test_fleet_drains.py
+++ b/tests/test_fleet_drains.py
@@ -362,6 +362,28 @@
     assert 0 < calls / 19.5 <= 16 * 10 * 3 / 10
 
 
+def test_who_leaves_gives_back_a_lease_on_nothing_at_once_and_may_ask_again_at_once() -> None:
+    state = Connections(Invariants(), TIMINGS)
+    state.apply(0, Limit(id="1", server="a", most=1, idle_ms=IDLE))
+    first, second = (Keeper(process(f"g{n}/1", "b", "1"), TIMINGS, Invariants(), 0.0) for n in (1, 2))
+
+    def polled(now: float, keeper: Keeper) -> int:
+        made = keeper.poll(now, now)
+        for command in made:
+            keeper.answered(now, command, state.apply(now, command))
+        return len(made)
+
+    for keeper in (first, second):
+        keeper.want("a", 1)
+        assert polled(0.0, keeper) == 1
+    assert second.pools["a"].number and not second.pools["a"].part
+    second.leaving = True
+    second.want("a", 0)
+    assert polled(connections.SHORT_MS / 2, second) == 1 and second.empty
+    second.want("a", 1)  # a late query
+    assert polled(connections.SHORT_MS / 2 + 1, second) == 1 and second.pools["a"].number
+
+
 # Rolls ----------------------------------------------------------------------------------------------------------------
 
 NAMES = [f"g{n}" for n in range(5)]
--- a/tests/test_fleet_pools.py
+++ b/tests/test_fleet_pools.py
@@ -19,12 +19,12 @@
 from badgeryoke.diameter.peer import Identity
 from badgeryoke.diameter.server_link import DiameterServerLink
 from badgeryoke.execution import End, Execution, Query
-from badgeryoke.fleet.pools import Pools
+from badgeryoke.fleet.pools import GONE_MS, SIFT_MS, Pools
 from badgeryoke.fleet.service import boot_ms
 from badgeryoke.fleet.settings import Fleet, Servers
 from badgeryoke.operators import Operators
 from badgeryoke.resp.server_link import RespServerLink
-from fleet.connections import Connections, Limit
+from fleet.connections import Ask, Connections, ConnLeases, Limit, bucket, process
 from fleet.errors import NoLeader
 from fleet.invariants import Invariants
 from fleet.node import Member, Node, Setup
@@ -303,3 +303,34 @@
             await soon(lambda: a.did == ["pause", "resume", "pause", "end"])
 
     play(test)
+
+
+def test_a_limit_is_forgotten_when_none_lists_or_uses_its_server_and_stated_again_by_who_does() -> None:
+    async def test() -> None:
+        group = Group()
+        gate = Gate("A", 1, group)
+        gate.pools.begin(gate.node, gate.rules)
+        gate.pools.close()  # no look but this test's
+        gate.node.states["g0"] = SimpleNamespace(parts={"connections": group.part}, index=1)  # type: ignore[assignment]
+        gate.node.replicas["g0"] = SimpleNamespace(leading=True)  # type: ignore[assignment]
+        for server in ("gone", "used"):
+            group.part.apply(0.0, Limit(id=server, server=server, most=MOST, idle_ms=IDLE_MS))
+        other = process("B/1", "b", "1")
+        group.part.apply(0.0, ConnLeases(id="x", holder=other, bucket=bucket("used"), asks=(Ask("used", 0, 0, 1),)))
+        now = 0.0
+        gate.pools.listed(["s"])  # which nobody uses
+        while now <= GONE_MS:
+            assert "gone" in group.part.servers
+            for command in gate.pools.poll(now, now):
+                group.part.apply(now, command)
+            now += SIFT_MS
+        assert list(group.part.servers) == ["s", "used"]
+        del group.part.servers["s"]  # by a leader whose list did not name it
+        gate.pools._leases["s"][0].link = SimpleNamespace(need=1, grown=lambda: None)
+        while "s" not in group.part.servers:
+            now += 100.0
+            assert now < 2 * GONE_MS
+            for command in gate.pools.poll(now, now):
+                gate.pools.answered(now, command, group.part.apply(now, command))
+
+    play(test)
