--- a/lab/fleet/world.py
+++ b/lab/fleet/world.py
@@ -334,7 +334,7 @@
     def whole(self) -> bool:
         """Whether every group has all its copies, on machines that run, with all that was committed a while ago."""
         groups = self.groups()
-        up = {machine.id for machine in self.machines.values() if machine.up}
+        up = {machine.id for machine in self.machines.values() if machine.up and not machine.disk.full}
         ups = {name_of(one) for one in up}
         for group in groups:
             config = self.config(group)
@@ -349,8 +349,8 @@
         return bool(groups)
 
     def joined(self, names: Iterable[str]) -> set[str]:
-        """The most of these machines that run and all reach each other, there and back within an election time."""
-        up = [name for name in names if self.machines[name].up]
+        """The most of these machines that run, can store, and reach each other and back within an election time."""
+        up = [name for name in names if self.machines[name].up and not self.machines[name].disk.full]
         delays = self.network.delays
         cuts = self.network.cuts | {pair for pair in delays if delays[pair] + delays.get(
             (pair[1], pair[0]), 0.0) >= self.timings.election_ms}
