Count on members alone that this process has heard since its start

A process just started believed all members alive until a probe failed. The leader's work now goes by who was heard.

--- a/fleet/node.py
+++ b/fleet/node.py
@@ -59,6 +59,7 @@
 
 __all__ = ["FOUNDING", "Holder", "Member", "Node", "Setup"]
 MOST_CALLS = 4096  # calls of this gateway that have no answer yet; more are refused
+MOST_MET = 8192  # Ids heard by one process; further ones are not counted on
 MOST_HOPS = 3  # of a call on its way to a leader
 TRY_PART = 0.25  # of `call_ms`, after which a call without an answer is made again: its id makes that harmless
 PAUSE_MS = 40.0  # before a call that found no leader is made again
@@ -124,6 +125,7 @@
         self._reading = False
         self._places_at = self._heard_at = now
         self._lags: dict[tuple[str, Id], float] = {}  # voters of groups led here that have not caught up, since when
+        self._met: dict[Id, None] = {}  # heard by this process
         self._ahead: dict[str, float] = {}  # others' wall clocks less this one's
         self.ahead = 0.0  # the fleet's time less this machine's, ms
         self._timed = len(self._halls) <= 1  # whether a majority's clocks were heard
@@ -189,6 +191,8 @@
         """Take an event in; gives what has to be done, in order."""
         effects: list[Effect] = []
         raw, wall = wall, wall + self.ahead
+        if isinstance(event, Received) and event.sender not in self._met and len(self._met) < MOST_MET:
+            self._met[event.sender] = None
         match event:
             case Received(message=GroupMessage() as message):
                 if self.founding.record is not None and self._replica(now, message.group) is not None:
@@ -471,9 +475,13 @@
         for group, made in self.replicas.items():
             if made.leading:
                 behind[group] = made.behind() + self._late(now, group, made)
-        return View(now, wall, self.me, replica.lead_since, self._timings, self.membership.alive(),
+        return View(now, wall, self.me, replica.lead_since, self._timings, self._living(),
                     self.membership.dead_for(now), self._halls, load, places.voters() or self._placed, behind)
 
+    def _living(self) -> frozenset[Id]:
+        """Whom this process has heard since its start, and does not believe dead: one just started knows of nobody."""
+        return frozenset(who for who in self.membership.alive() if who == self.me or who in self._met)
+
     def _work(self, now: float, wall: float, group: str, replica: Replica) -> list[Effect]:
         """What the leader of a group has to see to."""
         effects: list[Effect] = []
