Sift no limits in the group that holds none, and count a member that fell out of the fleet

The look for limits of servers that are gone asked the fleet's own group for its limits, and the first leader that did so fell out of the fleet with an error: rolls on sockets stood still, and no figure said so. The test had stood-in groups alone; it has the fleet's now. The laboratory counts a member that has no part any more as a broken rule, writes gateways' logs and events as they come, and a test rolls three real processes.

--- a/badgeryoke/fleet/pools.py
+++ b/badgeryoke/fleet/pools.py
@@ -25,7 +25,7 @@
 from fleet.errors import FleetError
 from fleet.invariants import Invariants
 from fleet.node import Node
-from fleet.part import Applied, Command
+from fleet.part import FLEET, Applied, Command
 from fleet.rollout import Duty, Rolled
 
 log = logging.getLogger("badgeryoke.fleet.pools")
@@ -262,7 +262,7 @@
         missing: dict[str, float] = {}
         made: list[Command] = []
         for group, state in self._node.states.items():
-            if not self._node.replicas[group].leading:
+            if group == FLEET or not self._node.replicas[group].leading:
                 continue
             for server, one in state.parts["connections"].servers.items():
                 if server in self._limits or one.parts.held:
--- a/lab/many.py
+++ b/lab/many.py
@@ -9,6 +9,7 @@
 
 import argparse
 import asyncio
+import contextlib
 import json
 import multiprocessing
 import os
@@ -34,11 +35,20 @@
     folder = to / f"seed-{seed}" if to else None
     begun = time.monotonic()
     row: dict[str, Any] = {"seed": seed, "fault": ""}
-    stage = Stage(text, seed, folder)
-    try:
-        asyncio.run(stage.play())
-    except (RuntimeError, OSError) as fault:
-        row["fault"] = str(fault)[:500]
+    with contextlib.ExitStack() as ends:
+        show = None
+        if folder is not None:
+            folder.mkdir(parents=True, exist_ok=True)
+            events = ends.enter_context((folder / "events.jsonl").open("w", 1))
+
+            def show(event: dict[str, Any]) -> None:
+                events.write(json.dumps(event, sort_keys=True) + "\n")
+
+        stage = Stage(text, seed, folder, show)
+        try:
+            asyncio.run(stage.play())
+        except (RuntimeError, OSError) as fault:
+            row["fault"] = str(fault)[:500]
     made = stage.fleet_figures()
     row |= {"figures": made.plain(), "bad": made.bad(), "queries": dict(stage.counts), **stage.extra_figures()}
     if text.rolls and made.roll_state != "done":
@@ -48,9 +58,6 @@
     if ratios := [roll["ratio"] for roll in rolls if roll["ratio"] is not None]:
         row["roll_ratio"] = max(ratios)
     row |= {"load": round(os.getloadavg()[0], 1), "took_s": round(time.monotonic() - begun, 1)}
-    if folder is not None:
-        (folder / "events.jsonl").write_text("".join(json.dumps(event, sort_keys=True) + "\n"
-                                                     for event in stage.events))
     return row
 
 
--- a/lab/stage/fleet.py
+++ b/lab/stage/fleet.py
@@ -297,7 +297,8 @@
         now = self._clock()
         self.seen = {me: value for me, (value, error) in zip(up, answers, strict=True) if not error}
         for me, status in self.seen.items():
-            self._broken[me] = max(self._broken.get(me, 0), int(status.get("broken", 0)))
+            ended = any("invariant-broken" in error for error in status.get("errors", ()))  # it has no part any more
+            self._broken[me] = max(self._broken.get(me, 0), int(status.get("broken", 0)), int(ended))
             for group, facts in status["groups"].items():
                 if facts["behind"] is not None:  # it leads
                     self._leaders.setdefault((group, facts["term"]), set()).add(status["me"])
--- a/lab/stage/process.py
+++ b/lab/stage/process.py
@@ -83,7 +83,7 @@
 
     async def _read(self, process: asyncio.subprocess.Process) -> None:
         assert process.stderr is not None
-        with (self._folder / "log").open("ab") as log:
+        with (self._folder / "log").open("ab", 0) as log:
             async for line in process.stderr:
                 log.write(line)
                 self._said(self.me, line.decode(errors="replace").rstrip())
--- a/tests/test_fleet_pools.py
+++ b/tests/test_fleet_pools.py
@@ -28,8 +28,9 @@
 from fleet.errors import NoLeader
 from fleet.invariants import Invariants
 from fleet.node import Member, Node, Setup
-from fleet.part import Applied, View
+from fleet.part import FLEET, Applied, View
 from fleet.rollout import RollRead
+from fleet.state import GroupState
 from fleet.timings import Timings
 from martenstep.interface import Verdict
 from tests.standins import HOST, Backend, DiameterServer, Discovery, config, connect, entry, gateway, query, roster
@@ -312,7 +313,8 @@
         gate.pools.begin(gate.node, gate.rules)
         gate.pools.close()  # no look but this test's
         gate.node.states["g0"] = SimpleNamespace(parts={"connections": group.part}, index=1)  # type: ignore[assignment]
-        gate.node.replicas["g0"] = SimpleNamespace(leading=True)  # type: ignore[assignment]
+        gate.node.states[FLEET] = GroupState(FLEET, TIMINGS, gate.rules)  # it holds no limits
+        gate.node.replicas["g0"] = gate.node.replicas[FLEET] = SimpleNamespace(leading=True)  # type: ignore[assignment]
         for server in ("gone", "used"):
             group.part.apply(0.0, Limit(id=server, server=server, most=MOST, idle_ms=IDLE_MS))
         other = process("B/1", "b", "1")
--- a/tests/test_fleet_stage.py
+++ b/tests/test_fleet_stage.py
@@ -295,3 +295,18 @@
             assert set(fleet.seen) == set(range(5))
 
     play(test, 90.0)
+
+
+def test_three_gateways_roll_without_losing_a_query_or_passing_a_servers_limit(tmp_path: Path) -> None:
+    async def test() -> None:
+        text = parse("""(scenario rolls (length 1s) (gateways 3 (fleet on)) (servers 2 (work 5ms..15ms) (connections 4))
+            (plan p (rate 20/s) (burst 40u)) (customers 3 (plan p) (spread 3) (demand 0.5x)) (proposals 10/s)
+            (roll all (from 0s)))""")
+        stage = Stage(text, 1, tmp_path)
+        await stage.play()  # clients ask until the roll is over
+        made = stage.fleet_figures()
+        assert (made.roll_state, made.roll_lost, made.connections_over, made.bad()) == ("done", 0, 0, [])
+        assert stage.fleet is not None and stage.fleet.rolls[0]["restarts"] == 3
+        assert stage.counts["served"] > 0 and max(one.most_open for one in stage._servers) > 0
+
+    play(test, 110.0)
