--- a/tests/test_fleet_attacks.py
+++ b/tests/test_fleet_attacks.py
@@ -22,6 +22,7 @@
 from badgeryoke.fleet.links import read as links_read
 from badgeryoke.fleet.store import NAME, TOLD, Disk, open_store
 from fleet import contracts, owed, promises
+from fleet import floor as floor_module
 from fleet import node as fleet_node
 from fleet import state as fleet_state
 from fleet.connections import (
@@ -37,12 +38,13 @@
     Unlimit,
     bucket,
 )
-from fleet.contracts import Capacity, Floors, Lease, Terms, Window
+from fleet.contracts import Capacity, Contracts, Floors, Lease, Terms, Window
 from fleet.errors import (
     BadCall,
     BadFrame,
     Crowded,
     InvariantBroken,
+    LeaseOver,
     NoLeader,
     NoRoom,
     NotThere,
@@ -71,6 +73,7 @@
     Stored,
     Tick,
 )
+from fleet.floor import Floor
 from fleet.founding import Founding, Record
 from fleet.groups import Enrol, Held, Moved, Placing, Replace, copies_for, group_of
 from fleet.invariants import Broken, Invariants, Rule
@@ -1063,11 +1066,230 @@
     assert part.servers["s"].parts.granted() == granted  # it is known until all of it has come back
 
 
-# What stands in the code -----------------------------------------------------------------------------------------------
+# Contracts -------------------------------------------------------------------------------------------------------------
 
 TERMS: dict[str, Any] = {"tenant": "t", "customers": [1], "rate": 50.0, "burst": 10.0}
+SPAN = (20_000.0, 60_000.0)
+
+
+def admitted(units: float = 100.0) -> Contracts:
+    """60 units a second over SPAN, as version 1."""
+    made = Contracts(Timings(), Invariants())
+    asked = msgspec.convert({**TERMS, "rate": 60.0, "windows": [Window(*SPAN)]}, Terms)
+    for command in (Capacity(id="1", units=units, reserve=0.0, floor=0.0),
+                    contracts.Propose(id="2", contract="c", terms=asked)):
+        assert made.apply(0.0, command).error is None
+    return made
+
+
+def test_a_version_goes_when_the_next_one_is_told_and_by_no_word_of_an_older() -> None:
+    made = admitted()
+    held = made.held["c"]
+    changed = msgspec.structs.replace(held.newest.terms, rate=30.0)
+    assert made.apply(1.0, contracts.Change(id="3", contract="c", terms=changed, holds_from_ms=30_000.0)).error is None
+    made.apply(2.0, contracts.Told(id="4", contract="c", version=1))
+    assert (held.told, [one.number for one in held.versions]) == (1, [1, 2])
+    assert made.promised(0.0, 1e6) == 60.0  # the dearer of the two counts
+    made.apply(3.0, contracts.Told(id="5", contract="c", version=2))
+    assert (held.told, [one.number for one in held.versions]) == (2, [2])
+
+
+def test_a_contract_is_armed_when_its_group_holds_it() -> None:
+    made = admitted()
+    made.apply(15_000.0, contracts.Pass(id="p"))
+    assert made.held["c"].state.value == "admitted"
+    made.apply(15_001.0, contracts.Told(id="3", contract="c", version=1))
+    assert made.held["c"].state.value == "armed"
+
+
+def test_what_was_promised_before_capacity_fell_stands_behind_a_snapshot() -> None:
+    made = admitted()
+    assert made.apply(1.0, Capacity(id="3", units=30.0, reserve=0.0, floor=5.0)).error is None
+    other = Contracts(Timings(), Invariants())
+    other.load(msgspec.msgpack.decode(msgspec.msgpack.encode(made.dump())))
+    assert other.apply(2.0, contracts.Told(id="4", contract="c", version=1)).error is None  # and no rule is broken
+    assert other.available() == made.available() == 25.0
+
+
+def opened_floors(*versions: tuple[int, float, float], at_ms: float = 0.0) -> Floors:
+    """Versions by number, rate, and the moment from which they hold."""
+    made = Floors(Timings(), Invariants())
+    for number, rate, holds_from in versions:
+        made.apply(at_ms, contracts.Open(id=f"o{number}", tenant="t", contract="c", version=number, rate=rate,
+                                         burst=10.0, times=(SPAN,), holds_from_ms=holds_from))
+    return made
+
+
+def lease(made: Floors, at_ms: float, order: int, number: int, wish: float, keep: float = 0.0) -> Any:
+    result = made.apply(at_ms, Lease(id=f"l{order}", tenant="t", contract="c", holder="a/1", number=number, keep=keep,
+                                     wish=wish, room=0.0, process="p", order=order))
+    assert result.error is None, result.error
+    return result.value
 
 
+def words(made: Floors, now: float, wall: float) -> list[str]:
+    view = View(now, wall, "a/1", 0.0, Timings(), frozenset(), {}, {}, {}, {}, {})
+    return [type(one).__name__ for one in made.work(view)]
+
+
+def test_an_older_version_that_comes_late_changes_nothing_and_none_is_forgotten_before_its_window() -> None:
+    made = opened_floors((1, 60.0, 0.0), (3, 30.0, 25_000.0), (2, 90.0, 25_000.0))
+    coming = made.held["c"].coming
+    assert made.held["c"].version == 1 and coming is not None and coming.version == 3
+    made = opened_floors((2, 60.0, 0.0), (1, 90.0, 0.0))
+    assert (made.held["c"].version, made.held["c"].rate) == (2, 60.0)
+    made.apply(1.0, contracts.Open(id="x", tenant="t", contract="d", version=4, rate=1.0, burst=0.0, times=(SPAN,),
+                                   holds_from_ms=0.0))
+    assert list(made.held) == ["c", "d"]
+
+
+def test_parts_are_granted_within_a_window_and_end_behind_the_margin() -> None:
+    made = opened_floors((1, 60.0, 0.0))
+    assert lease(made, SPAN[0] - contracts.EARLY_MS - 1.0, 1, 0, 60.0)["part"] == 0.0
+    made = opened_floors((1, 60.0, 0.0))
+    granted = lease(made, SPAN[0] - 1.0, 1, 0, 60.0)
+    assert granted["part"] == 60.0 and granted["from_ms"] == SPAN[0]
+    made.seen(1000.0)
+    times = Timings()
+    margin = times.lease_ms * (1.0 + times.clock_drift) / (1.0 - times.clock_drift)
+    assert "EndLease" not in words(made, 1000.0 + margin - 1.0, SPAN[0])
+    assert "EndLease" in words(made, 1000.0 + margin, SPAN[0])
+    assert lease(made, SPAN[1], 2, 1, 60.0)["part"] == 0.0
+
+
+@pytest.mark.parametrize("rate", [30.0, 90.0])
+def test_a_version_is_told_when_no_lease_of_the_one_before_is_left_behind_a_snapshot_as_well(rate: float) -> None:
+    made = opened_floors((1, 60.0, 0.0))
+    granted = lease(made, 20_000.0, 1, 0, 60.0)
+    made.apply(20_001.0, contracts.Open(id="o2", tenant="t", contract="c", version=2, rate=rate, burst=10.0,
+                                        times=(SPAN,), holds_from_ms=25_000.0))
+    renewed = lease(made, 20_002.0, 2, granted["number"], 60.0, 60.0)
+    assert (renewed["until_ms"], renewed["then"]) == (25_000.0, min(rate / 60.0, 1.0))  # it shrinks by itself
+    made.apply(25_000.0, contracts.TurnFloor(id="turn", tenant="t", contract="c"))
+    other = Floors(Timings(), Invariants())
+    other.load(msgspec.msgpack.decode(msgspec.msgpack.encode(made.dump())))
+    for one in (made, other):
+        assert one.held["c"].version == 2 and "Told" not in words(one, 10.0, 25_000.0)
+        assert lease(one, 25_001.0, 2, granted["number"], 60.0, 60.0) == renewed  # a repeat is answered as it was
+        lease(one, 25_002.0, 3, renewed["number"], rate, min(rate, 60.0))
+        assert "Told" in words(one, 20.0, 25_002.0)
+
+
+def test_what_a_lost_holder_had_is_gone() -> None:
+    whole, rules = Divided(10.0, 8.0), Invariants()
+    granted = whole.ask("a", 0, 0.0, 10.0, 0.0, rules, 0.0, 8.0)
+    assert not isinstance(granted, BadCall | LeaseOver) and granted.room > 0.0
+    free = whole.free
+    whole.end("a", granted.number)
+    assert whole.free == free
+
+
+def test_two_changes_never_overlap_and_a_tenants_contracts_are_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(contracts, "MOST_OF_TENANT", 1)
+    made = admitted()
+    terms = made.held["c"].newest.terms
+    first, second = (msgspec.structs.replace(terms, rate=rate) for rate in (30.0, 20.0))
+    assert made.apply(1.0, contracts.Change(id="3", contract="c", terms=first, holds_from_ms=30_000.0)).error is None
+    again = made.apply(2.0, contracts.Change(id="4", contract="c", terms=second, holds_from_ms=30_000.0))
+    assert isinstance(again.error, WrongState)
+    more = made.apply(3.0, contracts.Propose(id="5", contract="d", terms=msgspec.structs.replace(terms, rate=1.0)))
+    assert isinstance(more.error, Crowded)
+
+
+class Gate:
+    """One gateway's floor with both groups beside it; customer 1 asks."""
+
+    def __init__(self, hall: str = "", of: str = "") -> None:
+        self.floor, self.floors = Floor("a/1", "p", Timings(), hall), opened_floors((1, 60.0, 0.0))
+        self.contracts = Contracts(Timings(), Invariants())
+        asked = msgspec.convert({**TERMS, "rate": 60.0, "hall": of, "windows": [Window(*SPAN)]}, Terms)
+        for command in (Capacity(id="1", units=100.0, reserve=0.0, floor=0.0),
+                        contracts.Propose(id="2", contract="c", terms=asked),
+                        contracts.Told(id="3", contract="c", version=1)):
+            assert self.contracts.apply(0.0, command).error is None
+
+    def turn(self, now: float, lost: type[Command] | None = None) -> list[Command]:
+        """What it asks for is answered at once; of one kind nobody knows."""
+        asked = self.floor.poll(now, now)
+        for one in asked:
+            if lost is not None and isinstance(one, lost):
+                self.floor.answered(now, one, UnknownOutcome("g0", "no answer"))
+            elif one.key():
+                self.floor.answered(now, one, self.floors.apply(now, one))
+            else:
+                self.floor.answered(now, one, self.contracts.look(one) if one.reads else self.contracts.apply(now, one))
+        return asked
+
+    def ask(self, begin: float, end: float) -> int:
+        """A request each 10 ms; gives how many were drawn."""
+        drawn, now = 0, begin
+        while now < end:
+            drawn += self.floor.take(now, 1, 0.5) is not None
+            self.turn(now)
+            now += 10.0
+        return drawn
+
+
+def test_a_gateway_uses_nothing_outside_of_its_hall_its_window_and_its_lease() -> None:
+    assert Gate("x", "y").ask(SPAN[0], SPAN[0] + 500.0) == 0 and Gate("x", "x").ask(SPAN[0], SPAN[0] + 500.0) > 20
+    made = Gate()
+    assert made.ask(SPAN[0] - 900.0, SPAN[0]) == 0
+    assert made.ask(SPAN[0], SPAN[0] + 1000.0) > 80
+    late = SPAN[1] - 500.0
+    assert made.ask(late, SPAN[1]) > 40 and made.floor.held(SPAN[1] - 1.0) > 30.0
+    assert made.floor.held(SPAN[1]) == 0.0 and made.floor.take(SPAN[1], 1, 0.5) is None
+
+
+def test_before_a_window_a_bucket_does_not_fill() -> None:
+    made = Gate()
+    made.turn(SPAN[0] - 900.0)
+    made.turn(SPAN[0] - 890.0)
+    stake = made.floor.stakes["c"]
+    assert stake.part > 0.0 and stake.cap > 1.0  # it could
+    stake.level = 0.0
+    stake.fill(SPAN[0] - 1.0, SPAN[0] - 1.0)
+    assert stake.level == 0.0
+    stake.fill(SPAN[0] + 10.0, SPAN[0] + 10.0)
+    assert stake.level > 0.0
+
+
+def test_what_nobody_knows_is_asked_again_and_what_is_over_is_over() -> None:
+    made, begin = Gate(), SPAN[0] + 1000.0
+    assert made.ask(begin, begin + 500.0) > 20
+    first = next(one for at in range(100) for one in made.turn(begin + 500.0 + 10.0 * at, Lease)
+                 if isinstance(one, Lease))
+    repeats = [one for at in range(20) for one in made.turn(begin + 700.0 + 50.0 * at, Lease) if isinstance(one, Lease)]
+    assert repeats and all(one == first for one in repeats)
+    made = Gate()
+    assert made.ask(begin, begin + 500.0) > 20 and made.floor.held(begin + 500.0) > 0.0
+    last = next(one for at in range(20) for one in made.floor.poll(begin + 510.0 + 10.0 * at, begin + 510.0 + 10.0 * at)
+                if isinstance(one, Lease))
+    made.floor.answered(begin + 720.0, last, Applied(error=LeaseOver("a/1", "it is over")))
+    assert made.floor.held(begin + 720.0) == 0.0 and made.floor.take(begin + 720.0, 1, 0.5) is None
+
+
+def test_a_request_that_has_no_turn_in_time_is_an_ordinary_one() -> None:
+    made, begin = Gate(), SPAN[0] + 1000.0
+    for at in range(3):
+        made.turn(begin + 10.0 * at)
+    stake = made.floor.stakes["c"]
+    stake.part = stake.level = 0.0
+    assert made.floor.take(begin + 40.0, 1, 0.5) is None and made.floor.wait(begin + 40.0, 1, 0.5, "token")
+    assert made.floor.turns(begin + 41.0 + floor_module.WAIT_MS) == [("token", None)]
+
+
+def test_units_short_are_told_once() -> None:
+    made, begin = Gate(), SPAN[0] + 1000.0
+    assert made.ask(begin, begin + 200.0) > 5
+    reserved = made.floor.take(begin + 300.0, 1, 0.5)
+    assert reserved is not None
+    made.floor.failed(begin + 300.0, reserved, "load")
+    told = [one for at in range(400) for one in made.turn(begin + 300.0 + 10.0 * at) if isinstance(one, contracts.Short)]
+    assert [(one.cause, one.units) for one in told] == [("load", 0.5)]
+
+
+# What stands in the code -----------------------------------------------------------------------------------------------
+
 def test_a_customer_of_any_length_ends_no_members_part() -> None:
     """Encoded within `Node.handle`, it ends this member's whole share in the fleet."""
     given = {"do": "propose", "id": "1", "contract": "c",
