Take a gateway that left in order for restarting, not dead, and shorten a wave's waits

Each wave of a roll on sockets was told as paused, 'dead while warming': the process was back and the word that it had left not yet refuted. A gateway under way counts as dead when it is believed dead. The first wave waited up to 2 s for its first reading, and each 400 ms for the others to grow: 1 s (10 ms a member in larger fleets) and 250 ms now; a gateway under way reads twice as often.

--- a/badgeryoke/fleet/pools.py
+++ b/badgeryoke/fleet/pools.py
@@ -148,7 +148,7 @@
         boot = BOOT.read_text().strip() if BOOT.exists() else ""
         me = process(node.me, boot, secrets.token_hex(6))
         self.keeper = Keeper(me, node.setup.timings, rules, self.now(), self.alone)
-        self.rolled = Rolled(node.setup.me, me)
+        self.rolled = Rolled(node.setup.me, me, len(node.setup.members))
         self._node = node
         node.limits = dict(self._limits)
         if not node.setup.capacity:
--- a/fleet/rollout.py
+++ b/fleet/rollout.py
@@ -30,11 +30,11 @@
 MOST_TEXT = 256
 MOST_MS = 24 * 3_600_000.0
 BLOCK_MS = 1500.0  # a wave may wait so long for its conditions before the roll says that it is paused
-NEAR_MS = 100.0  # between two readings of a gateway that is under way
+NEAR_MS = 50.0  # between two readings of a gateway that is under way
 READ_MS, PER_MEMBER_MS = 200.0, 10.0  # of another during a roll: the first, and more by the size of the fleet
-IDLE_MS = 2000.0  # without a roll
+IDLE_MS = 1000.0  # without a roll, and longer in large fleets; the first wave waits for it
 FRESH_MS = 1000.0  # a reading older than this makes nobody turn clients away or leave: it was frozen, or cut off
-GRANT_MS = 200.0  # beside a reading's time: others grow before the wave's gateways turn clients away
+GRANT_MS = 50.0  # beside a reading's time: others grow before the wave's gateways turn clients away
 
 
 class State(Enum):
@@ -608,12 +608,13 @@
         return self._turned(roll, T.PLANNED, order=tuple(names), members=len(view.halls))
 
     def _failed(self, view: View, roll: Roll) -> str:
-        """What has gone wrong with those under way."""
-        alive = {name_of(who) for who in view.alive}
+        """What has gone wrong with those under way.  Who left in order is not dead: a restart is seen as that for a
+        moment when its process is back."""
+        dead = {name_of(who) for who in view.dead_for} - {name_of(who) for who in view.alive}
         for name, one in roll.gateways.items():
             if one.stand not in UNDER_WAY:
                 continue
-            if name not in alive and one.stand not in (G.ACTING, G.HELD, G.RETURNING):
+            if name in dead and one.stand not in (G.ACTING, G.HELD, G.RETURNING):
                 return f"{name} is dead while {one.stand.value}"
             if one.stand not in (G.HELD, G.WARMING) and not one.told and view.wall - one.since >= roll.ask.deadline_ms:
                 return f"{name} is late {one.stand.value}"
@@ -690,6 +691,7 @@
 
     me: str  # its name
     process: Id  # this process: another one is another start
+    members: int = 1  # of the fleet
     paused: bool = False  # by a roll; what an operator paused is left alone
     left: bool = False
     record: dict[str, Any] = field(default_factory=dict)
@@ -772,7 +774,7 @@
         error = result if isinstance(result, FleetError) else result.error
         if error is None and isinstance(result, Applied):
             self.record, self._out, self._read = result.value, None, self._asked
-            self._next = now + self.record["read_ms"]
+            self._next = now + max(self.record["read_ms"], 0.0 if self.record["roll"] else PER_MEMBER_MS * self.members)
             return
         if isinstance(self._out, RollRead) or isinstance(error, BadCall | NotThere | TakenId | WrongState):
             self._out = None  # a reading may as well be a new one; what was refused is not said again as it was
