Let who schedules a roll look at once when it has moved

Each step of a roll waited for the next heartbeat's look, 50 ms in the middle and four times a wave. A change of the roll that was applied where the fleet's group is led brings the look forward.

--- a/fleet/node.py
+++ b/fleet/node.py
@@ -133,6 +133,7 @@
         self._last = 0
         self._begun = f"{draw.getrandbits(48):012x}"  # tokens of an earlier life are not answered as this one's
         self._work_at = self._poll_at = now
+        self._rolled = "", 0  # the roll under way, and its changes when this member last looked
         self._leaving: tuple[str, float] | None = None
         self.due = now
         if self.founding.record is not None:
@@ -178,6 +179,8 @@
             else:
                 effects.append(effect)
         self.due = min(self.due, replica.due)  # what has become later costs one Tick that does nothing
+        if group == FLEET and replica.leading:
+            self._hurry(now)
         if self.rules.count != broken and not isinstance(event, StoreBroke):
             rule, facts = self.rules.broken[-1]
             error = InvariantBroken(group, f"{rule.name}: {facts}")
@@ -185,6 +188,13 @@
             effects += self._feed(now, group, StoreBroke(error))  # it promises nothing from here on
         return effects
 
+    def _hurry(self, now: float) -> None:
+        """A roll has moved: whoever schedules it looks at once, not with the next heartbeat."""
+        roll = self.states[FLEET].parts["rolls"].active
+        if roll is not None and (roll.name, roll.changes) != self._rolled:
+            self._rolled = roll.name, roll.changes
+            self._work_at = self.due = now
+
     # Events -----------------------------------------------------------------------------------------------
 
     def handle(self, now: float, wall: float, event: NodeEvent) -> list[Effect]:
