--- a/lab/many.py
+++ b/lab/many.py
@@ -2,6 +2,8 @@
 
 Each run has a process of its own; at most `--jobs` are played at once.  Beside worst and median of each figure stands
 how loaded the machine was: the load average, and how late the emulator itself ran, which bounds what the times say.
+A run in which it was later than `LATE_MS` counts as `late`: its front hears of a gateway that turns clients away when that
+one has closed its connections already, so that a query lost there says nothing of the roll.
 Exit code 1 where a run broke a promise, did not end its rolls, or did not come to its end.
 """
 
@@ -26,6 +28,7 @@
 from lab.text.scenario import load
 from lab.text.sexpr import TextError
 
+LATE_MS = 300.0  # of the 450 that a gateway gives its front
 BESIDE = ("load", "emulator_lag_ms", "took_s", "roll_ratio", "wait_p50_ms", "wait_p99_ms")  # of numbers, high is bad
 
 
@@ -71,7 +74,8 @@
     for row in rows:
         for key in [*row["bad"], *(["fault"] if row["fault"] else [])]:
             by.setdefault(key, []).append(row["seed"])
-    return {"scenario": name, "commit": commit(), "runs": len(rows), "failed": sum(map(bool, map(_failed, rows))),
+    late = [row["seed"] for row in rows if row["emulator_lag_ms"] > LATE_MS]
+    return {"scenario": name, "commit": commit(), "runs": len(rows), "late": late, "failed": sum(map(bool, map(_failed, rows))),
             "by": by, "figures": spread([row["figures"] for row in rows]), "beside": beside,
             "queries": {kind: sum(row["queries"][kind] for row in rows) for kind in rows[0]["queries"]} if rows else {},
             "faults": [row["fault"] for row in rows if row["fault"]]}
--- a/lab/stage/run.py
+++ b/lab/stage/run.py
@@ -288,6 +288,7 @@
                 self.referee.lost(rid)
                 if self.fleet is not None and me not in self._felled:
                     self.fleet.roll_lost += 1
+                    self._event("lost", gateway=me + 1, asked_at=round(sent, 1), up=self._doors[me].up)
                 return
             self.referee.answered(self.now, rid, kind)
             self.latency[kind].record_value(max(int((self.now - sent) * 1000.0), 1))
