--- a/lab/many.py
+++ b/lab/many.py
@@ -2,8 +2,8 @@
 
 Each run has a process of its own; at most `--jobs` are played at once.  Beside worst and median of each figure stands
 how loaded the machine was: the load average, and how late the emulator itself ran, which bounds what the times say.
-A run in which it was later than `LATE_MS` counts as `late`: its front hears of a gateway that turns clients away when that
-one has closed its connections already, so that a query lost there says nothing of the roll.
+A run in which it was later than `LATE_MS` counts as `late`: its front hears of a gateway that turns clients away when
+that one has closed its connections already, so that a query lost there says nothing of the roll.
 Exit code 1 where a run broke a promise, did not end its rolls, or did not come to its end.
 """
 
@@ -75,9 +75,10 @@
         for key in [*row["bad"], *(["fault"] if row["fault"] else [])]:
             by.setdefault(key, []).append(row["seed"])
     late = [row["seed"] for row in rows if row["emulator_lag_ms"] > LATE_MS]
-    return {"scenario": name, "commit": commit(), "runs": len(rows), "late": late, "failed": sum(map(bool, map(_failed, rows))),
-            "by": by, "figures": spread([row["figures"] for row in rows]), "beside": beside,
-            "queries": {kind: sum(row["queries"][kind] for row in rows) for kind in rows[0]["queries"]} if rows else {},
+    queries = {kind: sum(row["queries"][kind] for row in rows) for kind in rows[0]["queries"]} if rows else {}
+    return {"scenario": name, "commit": commit(), "runs": len(rows), "late": late,
+            "failed": sum(map(bool, map(_failed, rows))), "by": by, "queries": queries, "beside": beside,
+            "figures": spread([row["figures"] for row in rows]),
             "faults": [row["fault"] for row in rows if row["fault"]]}
 
 
