Pool a contract's idle units for whoever waits, and count units short to the request

Now what of the rate several gateways do not need evenly, and all that is wished by those with few requests, fills units that nobody holds, and a gateway with requests waiting draws on those; a holder is polled when it is due, and a request that waits wakes it.

--- a/badgeryoke/fleet/service.py
+++ b/badgeryoke/fleet/service.py
@@ -176,6 +176,7 @@
         if isinstance(holders := getattr(self.node, "holders", None), list):  # a node that is only driven has none
             hall = next(one.hall for one in setup.members if one.name == setup.me)
             self.floor = Floor(setup.id, secrets.token_hex(4), setup.timings, hall, len(setup.members))
+            self.floor.wake = self._wake
             holders.append(self.floor)
             if self.on_floor is not None:
                 self.on_floor(self.floor, self.now)
@@ -264,6 +265,14 @@
         self._timer, self._timer_due = None, math.inf
         self._feed(Tick())
 
+    def _wake(self) -> None:
+        """Something is due sooner than the node has said: look in the loop's next turn."""
+        if self._timer_due > 0.0 and not self._ended:
+            if self._timer is not None:
+                self._timer.cancel()
+            self._timer_due = 0.0
+            self._timer = self._loop.call_later(0.0, self._tick)
+
     def _received(self, sender: Id, messages: tuple[AnyMessage, ...]) -> None:
         self._feed(*(Received(sender, message) for message in messages))
 
--- a/fleet/contracts.py
+++ b/fleet/contracts.py
@@ -56,11 +56,14 @@
 EARLY_MS = 1000.0  # before its window parts are granted, for use from its begin
 CURED_MS = 5000.0  # without a unit short a breach is over
 OTHERS_FLOOR = 0.1  # part of the capacity that is promised to nobody, where nothing else is stated
-SLICE_MS = 250.0  # in which what was asked for and what was drawn are counted together
-MOST_TOLD = 64  # slices of one call
-SETTLED_SLICES = 10  # after so many more a slice is compared with what was due: 2.5 s
-FOLD_SLICES = 40  # without a rest, after which units short are told all the same
-KEPT_SLICES = 2400  # are remembered for what is told late, of a gateway that was cut off; later still, it is not counted
+SLICE_MS = 5.0  # in which a gateway counts what was asked for and what was drawn together
+COARSE = 50  # slices taken together where they are kept for long
+MOST_TOLD = 256  # slices of one call
+MOST_OPEN = 20_000  # slices told and not compared yet; above, the older half is compared early
+SETTLED_SLICES = 400  # after so many more a slice is compared with what was due: 2 s
+AHEAD_SLICES = 400  # of a clock that is ahead
+KEPT_SLICES = 120_000  # are remembered for what a gateway that was cut off tells late; later still, it is not counted
+REST_MS = 500.0  # without a request: what was due until then and was not drawn never will be
 LONGEST_WAIT_MS = 300.0  # of a request at a gateway, for its turn
 NO_LEASE = "no lease"  # units that no gateway had a part for, where the tenant asked
 OPEN_MS = 500.0  # between two askings of the other group, doubled up to AGAIN_MS
@@ -335,6 +338,7 @@
     need: float = 0.0
     soft: bool = False
     least: float = 0.0
+    pulls: bool = False
     process: str = ""  # of the holder; and the order of its calls: one that comes behind a later one is stale
     order: int = 0
 
@@ -354,8 +358,8 @@
 
 
 class Used(_OfTenant, frozen=True, kw_only=True):
-    """What was asked for within a contract and what was drawn at one gateway, by slices of time (number, units, units).
-    A slice told again takes the place of the same one."""
+    """What was asked for within a contract at one gateway and what of that was drawn, in slices of the group's time
+    (number, units, units).  A slice told again takes the place of the same one."""
 
     once: ClassVar[bool] = False
 
@@ -807,13 +811,16 @@
 
 @dataclass(slots=True)
 class Tally:
-    """What was due to a tenant and what it drew: a bucket of the whole rate and burst, over all gateways together."""
+    """What was due to a tenant and what it drew: a bucket of the whole rate and burst, over all gateways together, that
+    serves units, of whatever requests.  Settled by busy times, each up to a rest: within one, what was due may be drawn
+    later, from buckets that others had not used up, by the burst at the most and what waits."""
 
     told: dict[int, dict[str, tuple[float, float]]] = field(default_factory=dict)  # not compared yet
-    due: dict[int, float] = field(default_factory=dict)  # of slices that were
+    due: dict[int, float] = field(default_factory=dict)  # of slices that were, COARSE of them together
     level: float = -1.0
     last: int = 0
-    owed: float = 0.0  # due and not drawn, as yet: what waited is drawn in the next slice
+    owed: float = 0.0  # due and not drawn, in this busy time
+    gone: float = 0.0  # of that, counted short already
     short: float = 0.0
 
     def note(self, by: str, slices: Iterable[tuple[int, float, float]], rate: float, newest: int) -> None:
@@ -821,42 +828,41 @@
         for at, asked, drawn in slices:
             if at <= self.last:
                 if at > newest - KEPT_SLICES:  # late: due as far as the rate of that time was not asked for elsewhere
-                    before = self.due.get(at, 0.0)
-                    late = min(asked, max(rate * SLICE_MS / 1000.0 - before, 0.0))
-                    self.due[at] = before + late
+                    bin_ = at // COARSE
+                    before = self.due.get(bin_, 0.0)
+                    late = min(asked, max(rate * COARSE * SLICE_MS / 1000.0 - before, 0.0))
+                    self.due[bin_] = before + late
                     self.short += max(late - drawn, 0.0)
-            elif at <= newest + FOLD_SLICES:  # of a clock that is not far ahead
+            elif at <= newest + AHEAD_SLICES:
                 self.told.setdefault(at, {})[by] = asked, drawn
 
     def settle(self, upto: int, rate: float, burst: float) -> None:
         """Compare slices up to there."""
+        if len(self.told) > MOST_OPEN:
+            upto = max(upto, sorted(self.told)[MOST_OPEN // 2])
         for at in sorted(at for at in self.told if at <= upto):
-            gap = at - self.last
-            if gap > 1:
+            if (at - self.last) * SLICE_MS > REST_MS:
                 self._rest()
-            told = self.told.pop(at).values()
-            if self.level < 0.0:
-                self.level = burst
-            one = rate * SLICE_MS / 1000.0
-            full = self.level + one * (gap - 1) >= burst  # then it fills from the first request on: half a slice, say
-            room = burst + one / 2.0 if full else self.level + one * gap
-            due = min(sum(asked for asked, _ in told), room)
-            self.level = min(room - due, burst)
-            self.due[at] = due
-            self.owed += due - sum(drawn for _, drawn in told)
+            filled = rate * SLICE_MS * (at - self.last) / 1000.0
+            self.level = burst if self.level < 0.0 else min(self.level + filled, burst)
             self.last = at
-            if at % FOLD_SLICES == 0 and self.owed > rate * LONGEST_WAIT_MS / 1000.0:
-                self.short += self.owed - rate * LONGEST_WAIT_MS / 1000.0  # more than may yet wait somewhere
-                self.owed = rate * LONGEST_WAIT_MS / 1000.0
-        if self.last and upto > self.last + 1:
+            for asked, drawn in self.told.pop(at).values():
+                due = min(asked, self.level)
+                self.level = max(self.level - due, 0.0)
+                self.owed += due - drawn
+                self.due[at // COARSE] = self.due.get(at // COARSE, 0.0) + due
+            never = self.owed - burst - rate * LONGEST_WAIT_MS / 1000.0
+            if never > self.gone:
+                self.short, self.gone = self.short + never - self.gone, never
+        if (upto - self.last) * SLICE_MS > REST_MS:
             self._rest()
-        for at in [at for at in self.due if at < upto - KEPT_SLICES]:
-            del self.due[at]
+        for bin_ in [bin_ for bin_ in self.due if bin_ < (upto - KEPT_SLICES) // COARSE]:
+            del self.due[bin_]
 
     def _rest(self) -> None:
         """Nothing was asked for: what is owed now was never drawn."""
-        self.short += max(self.owed, 0.0)
-        self.owed = 0.0
+        self.short += max(self.owed - self.gone, 0.0)
+        self.owed = self.gone = 0.0
 
 
 @dataclass(slots=True)
@@ -985,7 +991,7 @@
         wish, soft = (min(command.wish, found.parts.aim), command.soft) if span is not None else (0.0, False)
         found.parts.last = self.last
         given = found.parts.ask(command.holder, command.number, command.keep, wish, command.room, self._rules,
-                                command.hold, command.need, soft, command.least)
+                                command.hold, command.need, soft, command.least, command.pulls)
         if not isinstance(given, Grant):
             return Applied(error=given)
         if given.number:
@@ -997,7 +1003,8 @@
         value = {"number": given.number, "part": given.part, "room": given.room, "cap": given.cap, "fair": given.fair,
                  "most": given.most, "lack": given.lack,
                  "fair_cap": given.fair_cap, "spare": given.spare, "holders": given.holders, "version": found.version,
-                 "from_ms": span[0] if span is not None else 0.0, "until_ms": until, "then": then}
+                 "from_ms": span[0] if span is not None else 0.0, "until_ms": until, "then": then, "at_ms": at_ms,
+                 "free": found.parts.free}
         if given.number:
             found.answers[command.holder] = command.id, value
         else:
@@ -1028,7 +1035,7 @@
         for one in self.held.values():  # a version whose moment has come, though nobody asks for a part
             if one.coming is not None and view.wall >= one.coming.holds_from_ms:
                 made.append(TurnFloor(id="turn", tenant=one.tenant, contract=one.coming.contract))
-        over = int(view.wall // SLICE_MS) - SETTLED_SLICES - 2
+        over = int((view.wall - REST_MS) // SLICE_MS) - SETTLED_SLICES
         made += [TurnFloor(id="tally", tenant=one.tenant, contract=name) for name, one in self.held.items()
                  if (one.tally.owed > EDGE and over > one.tally.last) or (one.tally.told and over > min(one.tally.told))]
         shorts = {f"short/{name}/{one.tally.short:.3f}": (name, one) for name, one in self.held.items()
@@ -1054,7 +1061,7 @@
         return [self.last, [[name, one.tenant, one.version, one.rate, one.times, one.parts.dump(),
                              msgspec.to_builtins(one.coming), one.switch, one.answers, one.orders,
                              [[[at, by] for at, by in one.tally.told.items()], list(one.tally.due.items()),
-                              one.tally.level, one.tally.last, one.tally.owed, one.tally.short]]
+                              one.tally.level, one.tally.last, one.tally.owed, one.tally.gone, one.tally.short]]
                             for name, one in self.held.items()]]
 
     def load(self, raw: Any) -> None:
--- a/fleet/floor.py
+++ b/fleet/floor.py
@@ -21,11 +21,12 @@
 
 import math
 from collections import deque
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from typing import Any
 
 from fleet.contracts import (
+    COARSE,
     EARLY_MS,
     LONGEST_WAIT_MS,
     MOST_TOLD,
@@ -36,7 +37,7 @@
     Used,
 )
 from fleet.errors import BadCall, FleetError, LeaseOver, NotThere
-from fleet.leases import EDGE
+from fleet.leases import EDGE, STANDBY
 from fleet.messages import Id
 from fleet.part import Applied, Command
 from fleet.timings import Timings
@@ -45,10 +46,16 @@
 BUSY_MS = 120.0  # between two askings of one that uses or lends its part while others hold one
 URGENT_MS = 10.0  # the least between two askings, doubled while nothing comes, up to LACKS_MS
 LACKS_MS = 20.0
+PULL_MS = 40.0  # with requests waiting
+PULL_MOST_MS = 100.0  # of a call, above which units for a request that waits would come too late
+PULL_GAP_MS = 50.0  # mean gap between requests above which it holds no part of the rate
 RETRY_MS = 50.0  # after a call without an outcome, doubled up to RETRY_MOST_MS
 RETRY_MOST_MS = 400.0
 REPEAT_MS = 300.0  # without any answer: the same call again, which is harmless
 REPORT_MS = 1000.0  # between two reports of units short
+USED_MS = 500.0  # between two reports of what was asked for and drawn
+LATE_TURN_MS = 100.0  # behind its longest wait a request has had its turn, or will never
+STAMPED = 0.25  # of a call's time has gone by when the group's leader stamps it with the group's time
 FAST_MS, SLOW_MS = 150.0, 1000.0  # averages of what is asked for
 QUIET_GAPS, GONE_GAPS = 3.0, 6.0  # mean gaps between requests after which it looks, and after which it gives up
 GAP_LEAST_MS, GAP_MOST_MS = 25.0, 1000.0
@@ -63,7 +70,7 @@
 FULL = 0.3  # of a bucket in use: units above go to others
 PACED_MS = 30.0
 LATE_MS = 60_000.0  # behind its last lease a contract that is settled is kept for what is yet to be told
-MOST_SLICES = 2400  # kept until they are told: ten minutes
+MOST_SLICES = 2400  # kept until they are told; above, the older are taken together: ten minutes
 
 
 @dataclass(frozen=True, slots=True)
@@ -151,16 +158,23 @@
     fair_cap: float = 0.0
     holders: int = 0
     wish: float = 0.0
+    pulls: bool = True  # requests are so few that units are drawn for each, and no part is held
     out: Lease | None = None
     asked: float = 0.0  # when `out` was made first
     again: float = math.inf  # when to make it again
     sent: float = -math.inf
     refused: int = 0  # times in a row that its lease was over
     pause: float = URGENT_MS
-    waiting: deque[tuple[float, float, Any]] = field(default_factory=deque)  # until when, units, token
+    # Until when, units, token, and the slice of time in which they were asked for.
+    waiting: deque[tuple[float, float, Any, list[float]]] = field(default_factory=deque)
     demand: _Demand = field(default_factory=_Demand)
     paced: float = -math.inf
-    slices: dict[int, list[float]] = field(default_factory=dict)  # of time: asked for, drawn
+    slices: dict[int, list[float]] = field(default_factory=dict)  # of the group's time: asked for, drawn
+    noted: list[float] = field(default_factory=lambda: [0.0, 0.0])  # the slice of the last request
+    group: float = math.nan  # the group's time less `now`; by `wall` until it has answered
+    doubt: float = math.inf  # ms by which that may be wrong, as of `stamped`
+    stamped: float = 0.0
+    took: float = 0.0  # ms, of the last call for a part
     drawn: float = 0.0
     short: dict[str, float] = field(default_factory=dict)
     told: dict[str, float] = field(default_factory=dict)
@@ -182,8 +196,8 @@
         """Of the contract, units a second."""
         return next((float(v["rate"]) for v in reversed(self.facts["versions"]) if wall >= v["holds_from_ms"]), EDGE)
 
-    def draw(self, now: float, wall: float, units: float) -> bool:
-        """Take units from the bucket, if they are there."""
+    def draw(self, now: float, wall: float, units: float, noted: list[float]) -> bool:
+        """Take units from the bucket, if they are there.  `noted`: the slice in which they were asked for."""
         # Without its due part yet, the bucket has to last until that comes: no faster than the contract's rate.
         paced = self.part <= 0.0 or self.lacks(self.wish)
         if self.level < units - EDGE or (paced and now < self.paced):
@@ -191,22 +205,34 @@
         self.paced = max(self.paced, now - PACED_MS) + units / self.rate(wall) * 1000.0
         self.level -= units
         self.drawn += units
-        self.slice(wall)[1] += units
+        noted[1] += units
         return True
 
     def note(self, now: float, wall: float, units: float) -> None:
         """So much is asked for; what comes of it is noted in the same slice of time."""
         self.demand.note(now, units)
-        self.slice(wall)[0] += units
-
-    def slice(self, wall: float) -> list[float]:
-        """What was asked for and what was drawn, in the slice of time that holds now."""
-        number = int(wall // SLICE_MS)
-        if number not in self.slices:
-            self.slices[number] = [0.0, 0.0]
-            if len(self.slices) > MOST_SLICES:  # cut off for so long: the oldest are told by nobody
-                del self.slices[next(iter(self.slices))]
-        return self.slices[number]
+        number = int(self.time(now, wall) // SLICE_MS)
+        if number not in self.slices and len(self.slices) >= MOST_SLICES:
+            self._coarse()
+        self.noted = self.slices.setdefault(number, [0.0, 0.0])
+        self.noted[0] += units
+
+    def time(self, now: float, wall: float) -> float:
+        """The group's, as far as it is known: all gateways' slices are put in one order."""
+        return wall if math.isnan(self.group) else now + self.group
+
+    def _coarse(self) -> None:
+        """Cut off for long: take older slices together, but for those in which requests may wait yet; drop the oldest
+        where that is not enough, which are told by nobody."""
+        kept = self.slices
+        recent = next(reversed(kept)) - int((WAIT_MS + LATE_TURN_MS) // SLICE_MS)
+        self.slices = {}
+        for number, (asked, drawn) in [item for item in kept.items() if item[0] <= recent]:
+            one = self.slices.setdefault(number // COARSE * COARSE, [0.0, 0.0])
+            one[0], one[1] = one[0] + asked, one[1] + drawn
+        while len(self.slices) > MOST_SLICES * 3 // 4:
+            del self.slices[next(iter(self.slices))]
+        self.slices.update(item for item in kept.items() if item[0] > recent)
 
     def count(self, cause: str, units: float, wall: float) -> None:
         """Units short."""
@@ -215,7 +241,7 @@
 
     def fits(self, units: float) -> bool:
         """Whether a request can have its turn in this bucket, or may in one that is yet to come."""
-        return units <= self.cap + EDGE or self.out is not None or self.lacks(self.wish)
+        return units <= max(self.cap, self.burst()) + EDGE
 
     def queued(self) -> float:
         """Units that wait."""
@@ -227,7 +253,7 @@
 
     def lacks(self, wish: float) -> bool:
         """Whether it has less than its due."""
-        return self.part < min(self.fair, wish) * (1.0 - SLIGHT) - EDGE
+        return not self.pulls and self.part < min(self.fair, wish) * (1.0 - SLIGHT) - EDGE
 
     def fill(self, now: float, wall: float) -> None:
         """Bring the bucket up to now; a part ends by itself with its lease, its window, or its version."""
@@ -247,6 +273,10 @@
             self.part = self.cap = self.level = 0.0
 
 
+def _nobody() -> None:
+    """Nobody is to be woken."""
+
+
 class Floor:
     """All stakes of one gateway; a `fleet.setup.Holder`.
 
@@ -262,15 +292,30 @@
         self._out: dict[str, Command] = {}  # one call of each key at a time
         self._made = 0
         self._ahead = 0.0  # wall less now
+        self.due = math.inf  # it has a call to make by then, before it is polled again anyway
+        self.wake: Callable[[], None] = _nobody  # told when `due` has come nearer by a request
 
     def poll(self, now: float, wall: float) -> list[Command]:
         """See fleet.setup.Holder."""
-        self._ahead = wall - now
+        self._ahead, self.due = wall - now, math.inf
         made = list(self._calls(now, wall))
         for one in made:
-            self._out[one.key()] = one
+            self._out[self._line(one)] = one
         return made
 
+    @staticmethod
+    def _line(command: Command) -> str:
+        """Calls of one line are made one after the other; what is reported waits for no lease, and no lease for it."""
+        return f"{command.key()}#" if isinstance(command, Used) else command.key()
+
+    def _soon(self, now: float, one: Stake) -> None:
+        """It asks for more as soon as it may, if it has too little."""
+        if one.out is None and (one.waiting or one.part <= 0.0 or one.lacks(one.wish)):
+            due = max(one.sent + one.pause, now)
+            if due < self.due - EDGE:
+                self.due = due
+                self.wake()
+
     def _calls(self, now: float, wall: float) -> Iterator[Command]:
         busy = set(self._out)
         for one in sorted(self.stakes.values(), key=lambda stake: stake.sent):
@@ -279,9 +324,9 @@
                 busy.add(lease.key())
                 yield lease
         for one in self.stakes.values():
-            if f"t:{one.tenant}" not in busy and now >= one.report and (used := self._used(wall, one)) is not None:
-                one.report = now + REPORT_MS
-                busy.add(used.key())
+            if f"t:{one.tenant}#" not in busy and now >= one.report and (used := self._used(now, wall, one)) is not None:
+                one.report = now + (USED_MS if len(used.slices) < MOST_TOLD else 0.0)
+                busy.add(self._line(used))
                 yield used
         if "" in busy:
             return
@@ -296,9 +341,9 @@
             self._look = now
             yield ContractsKnown(id=self._id(), have=self._known)
 
-    def _used(self, wall: float, one: Stake) -> Used | None:
+    def _used(self, now: float, wall: float, one: Stake) -> Used | None:
         """What was asked for and drawn, in slices that are over and can change no more."""
-        last = int((wall - WAIT_MS) // SLICE_MS)
+        last = int((one.time(now, wall) - WAIT_MS - LATE_TURN_MS) // SLICE_MS)
         told = [(number, asked, drawn) for number, (asked, drawn) in one.slices.items() if number < last][:MOST_TOLD]
         return Used(id=self._id(), tenant=one.tenant, contract=one.contract, by=f"{self._me}#{self._process}",
                     slices=tuple(told)) if told else None
@@ -320,19 +365,23 @@
                 return None
             return self._ask(now, one, 0.0, 0.0, False, False)  # the window is over: give it back
         rate, quiet = one.rate(wall), now - one.demand.last
-        queued = one.queued() * 1000.0 / QUEUE_MS
+        queued = one.queued()
         # The traffic seems to have gone: that is told at once where others have less than their due, else after a rest.
         gone = quiet >= REST_MS or (one.demand.gone(now) and (one.lack > EDGE or one.wish <= 0.0))
         wish = min(queued if gone else max(one.demand.rate(now), queued), rate)
+        one.pulls = one.took <= PULL_MOST_MS and (one.demand.seen < 3 or one.demand.mean > PULL_GAP_MS)
         others = one.holders > 1 or one.number == 0
         uses = max(one.part, wish, one.fair) > EDGE
         regular = BUSY_MS if others and uses else self._timings.lease_ms / 3.0
         turned = one.until_ms == math.inf and one.number != 0  # its version or window has turned
-        above = one.part - one.most if wish > 0.0 else min(one.part, one.lack)
+        above = one.part - one.most
         moving = now < one.moved + LOOK_MS and wish * (1.0 - SLIGHT) > one.part
-        urgent = one.lacks(wish) or moving or one.wish < FELL * wish or turned or above > SLIGHT * rate or (
-            one.demand.gone(now, QUIET_GAPS) and quiet < LOOK_MS and one.part > EDGE)
-        if now < one.sent + (min(one.pause, regular) if urgent else regular):
+        urgent = (bool(one.waiting) or one.lacks(wish) or moving or one.wish < FELL * wish or turned
+                  or above > SLIGHT * rate or one.sent < one.demand.last + REST_MS <= now
+                  or (one.demand.gone(now, QUIET_GAPS) and quiet < LOOK_MS and one.part > EDGE))
+        when = one.sent + (min(one.pause, regular) if urgent else regular)
+        if now < when:
+            self.due = min(self.due, when)
             return None
         # What nobody lacks stays where it was last used, and is shared out evenly only after a rest.
         keep = one.fair if quiet >= REST_MS else one.part - max(above, 0.0) + max(wish - one.wish, 0.0)
@@ -341,31 +390,36 @@
     def _ask(self, now: float, one: Stake, keep: float, wish: float, soft: bool, stay: bool,
              urgent: bool = False) -> Lease:
         """Use less from here on, then say so."""
-        hold = min(one.cap, one.fair_cap) if stay else 0.0
-        least = one.demand.largest if stay else 0.0
+        hold = min(one.cap, max(one.fair_cap, min(one.level, one.queued()))) if stay else 0.0
+        standby = one.burst() * STANDBY / (one.holders + 1)
+        pulls = one.pulls and wish > 0.0 and one.holders > 1
+        least = one.demand.largest if stay and not pulls else 0.0
         room = max(one.level - hold, 0.0)
         if wish > 0.0 and one.holders > 1 and not one.waiting:
             # More comes in than is asked for here, and another may be short.
-            room = max(room, one.level - max(FULL * hold, least), 0.0)
+            room = max(room, one.level - max(FULL * hold if not pulls else 0.0, least), 0.0)
             hold = min(hold, one.cap - room)
+        elif wish <= 0.0 and one.holders > 1 and one.took <= PULL_MOST_MS:
+            # The traffic is elsewhere, or nowhere: units are where anybody gets them soon, but for some to begin with.
+            hold = min(hold, standby)
+            room = max(one.level - hold, 0.0)
         one.part, one.cap, one.level = keep, hold, one.level - room  # from here on `level` is what it keeps
         changed = not one.wish <= 2.0 * wish <= 4.0 * one.wish
-        one.pause = URGENT_MS if changed or not urgent else min(1.5 * one.pause, LACKS_MS)
+        one.pause = URGENT_MS if changed or not urgent else min(1.5 * one.pause, PULL_MS if one.waiting else LACKS_MS)
         one.wish, one.sent, one.asked, one.again = wish, now, now, now + REPEAT_MS
-        # Units that nobody holds are for those that wait for traffic, or for their part.
-        idle = wish <= 0.0 or one.lacks(wish) or one.holders < 2 or one.waiting or now < one.moved + LOOK_MS
-        need = max(hold, one.fair_cap, least) - one.level if idle and stay else 0.0
-        if one.number == 0:
-            need = one.burst()  # of which it is given what falls to it
+        # Units that nobody holds are for whoever has requests waiting; or for one that is alone.
+        need = (standby if wish <= 0.0 and stay else one.queued()) - one.level
+        if stay and (one.holders == 1 or one.number == 0):
+            need = max(need, min(hold, one.fair_cap) - one.level)
         one.out = Lease(id=self._id(), tenant=one.tenant, contract=one.contract, holder=self._me, number=one.number,
                         keep=keep, wish=wish, room=room, hold=hold, need=max(need, 0.0), soft=soft, least=least,
-                        process=self._process, order=self._made)
+                        pulls=one.pulls, process=self._process, order=self._made)
         return one.out
 
     def answered(self, now: float, command: Command, result: Applied | FleetError) -> None:
         """See fleet.setup.Holder."""
-        if self._out.get(command.key()) is command:
-            del self._out[command.key()]
+        if self._out.get(self._line(command)) is command:
+            del self._out[self._line(command)]
         error = result if isinstance(result, FleetError) else result.error
         value: Any = result.value if isinstance(result, Applied) else None
         if isinstance(command, ContractsKnown):
@@ -383,6 +437,7 @@
             one = self.stakes.get(command.contract)
             if one is not None and one.out is not None and one.out.id == command.id:
                 self._answered(now, one, error, value)
+                self._soon(now, one)
 
     def _answered(self, now: float, one: Stake, error: FleetError | None, value: Any) -> None:
         one.fill(now, now + self._ahead)
@@ -395,6 +450,11 @@
             one.holders, one.lack = value["holders"], value["lack"]
             one.from_ms, one.until_ms, one.then = value["from_ms"], value["until_ms"], value["then"]
             one.ends = one.asked + self._timings.lease_ms
+            one.took = took = now - one.asked
+            doubt = one.doubt + (now - one.stamped) * self._timings.clock_drift
+            if took * STAMPED < doubt:  # the more exact of the two
+                one.group = value["at_ms"] - one.asked - STAMPED * took
+                one.doubt, one.stamped = STAMPED * took, now
             if now < one.ends:
                 one.part, one.cap = value["part"], value["cap"]
                 one.level = min(one.level + value["room"], one.cap)
@@ -435,7 +495,9 @@
         """Draw from the first contract of a customer that has room here.  None: `wait`, or it is an ordinary request."""
         for one in self._open(now, customer):
             one.note(now, now + self._ahead, units)
-            if not one.waiting and one.draw(now, now + self._ahead, units):
+            if not one.waiting and one.draw(now, now + self._ahead, units, one.noted):
+                if one.part <= 0.0:
+                    self._soon(now, one)
                 return Reserved(one.contract, units, one.rank)
         return None
 
@@ -444,11 +506,13 @@
         back.  False where more wait than can have their turn by then: it is an ordinary request."""
         wall = now + self._ahead
         for one in self._open(now, customer):
-            most = one.part * QUEUE_MS if not one.lacks(one.wish) else one.rate(wall) * WAIT_MS
+            most = one.rate(wall) * (WAIT_MS if one.pulls or one.lacks(one.wish) else QUEUE_MS)
             free = one.queued() + units <= max(most / 1000.0, units) and len(one.waiting) < MOST_WAITING
             if free and one.fits(units):
-                one.waiting.append((now + WAIT_MS, units, token))
+                one.waiting.append((now + WAIT_MS, units, token, one.noted))
+                self._soon(now, one)
                 return True
+            self._soon(now, one)
         return False
 
     def turns(self, now: float) -> list[tuple[Any, Reserved | None]]:
@@ -457,9 +521,9 @@
         wall = now + self._ahead
         for one in self.stakes.values():
             while one.waiting:
-                until, units, token = one.waiting[0]
+                until, units, token, noted = one.waiting[0]
                 one.fill(now, wall)
-                drawn = now <= until and one.draw(now, wall, units)
+                drawn = now <= until and one.draw(now, wall, units, noted)
                 if not drawn and now <= until and one.fits(units):
                     break
                 one.waiting.popleft()
--- a/fleet/leases.py
+++ b/fleet/leases.py
@@ -28,8 +28,10 @@
 EDGE = 1e-9
 MOST_HOLDERS = 1024
 MOST_GAP_MS = 250.0
-STANDBY = 0.5
 RESUM = 64  # changes between two times that running sums are added up afresh and compared
+STANDBY, BUSY = 0.1, 0.3  # of the depth: for all holders evenly, and where traffic is; the rest is for who waits
+POOLED = 0.3  # of what is wished, where several have traffic, is in no part: it fills units for who waits
+LOOSE = 1.5  # times what those wish that draw units as they need them
 MOST_SOFT = 20  # holders that get a part of what no wish needs; each of them asks often
 
 
@@ -42,6 +44,7 @@
     wish: float
     cap: float = 0.0  # depth of its bucket
     soft: bool = False
+    pulls: bool = False  # it draws units as it needs them, and no part is for its wish
     seen: float = math.inf  # `now` of this machine when it saw it applied; not the same at every copy, never dumped
 
 
@@ -76,8 +79,8 @@
     free: float = -1.0  # units of the bucket that nobody holds; begins at `depth`
     even: bool = True
     at_ms: float = 0.0  # the group's time up to which it has accrued
-    # Running sums over `held`: parts, wishes, depths, soft ones, and changes since they were added up.  They are dumped
-    # to the last bit, since every copy has to come to the same ones.
+    # Running sums over `held`: parts, wishes, depths, soft ones, wishes of those that pull, and changes since they were
+    # added up.  They are dumped to the last bit, since every copy has to come to the same ones.
     sums: list[float] = field(default_factory=list)
 
     def __post_init__(self) -> None:
@@ -86,8 +89,9 @@
 
     def _added(self) -> list[float]:
         held = self.held.values()
-        return [sum(one.part for one in held), sum(one.wish for one in held), sum(one.cap for one in held),
-                float(sum(one.soft for one in held)), 0.0]
+        return [sum(one.part for one in held), sum(one.wish for one in held if not one.pulls),
+                sum(one.cap for one in held), float(sum(one.soft for one in held)),
+                sum(one.wish for one in held if one.pulls), 0.0]
 
     def _put(self, who: Id, one: Held, sign: float = 1.0) -> None:
         """Take a holder in, or (-1) out, and bring the sums up to that."""
@@ -97,19 +101,19 @@
             del self.held[who]
         sums = self.sums
         sums[0] += sign * one.part
-        sums[1] += sign * one.wish
+        sums[4 if one.pulls else 1] += sign * one.wish
         sums[2] += sign * one.cap
         sums[3] += sign * one.soft
-        sums[4] += 1.0
+        sums[5] += 1.0
         if not self.held:
-            self.sums = [0.0] * 5
+            self.sums = [0.0] * 6
 
     def _summed(self, rules: Invariants) -> None:
         """Now and then the sums are added up afresh, so that no error of rounding grows."""
-        if self.sums[4] >= RESUM:
+        if self.sums[5] >= RESUM:
             afresh = self._added()
             rules.check(Rule.PARTS_IN_WHOLE, all(abs(old - new) <= 1e-6 * max(1.0, abs(new))
-                                                 for old, new in zip(self.sums[:4], afresh, strict=False)),
+                                                 for old, new in zip(self.sums[:5], afresh, strict=False)),
                         lambda: f"running sums {self.sums}, afresh {afresh}")
             self.sums = afresh
 
@@ -141,12 +145,12 @@
 
     def ask(self, who: Id, number: int, keep: float, wish: float, room: float, rules: Invariants,
             hold: float = 0.0, need: float = 0.0, soft: bool = False,
-            least: float = 0.0) -> Grant | BadCall | LeaseOver:
+            least: float = 0.0, pulls: bool = False) -> Grant | BadCall | LeaseOver:
         """Renew, shrink, grow or give back (wish 0, keep 0, not soft).  `number` 0: it holds none.
 
         `hold`: the depth that it keeps of its bucket; `room`: units that it has taken out of it and gives back;
-        `need`: units that it could take; `least`: the depth that its largest request needs.  `soft`: it takes what no
-        wish needs as well, until another asks for it.
+        `need`: units that it could take; `least`: the depth that its largest
+        request needs.  `soft`: it takes what no wish needs as well, until another asks for it.  `pulls`: see `Held`.
         """
         mine = self.held.get(who)
         had, cap = (mine.part, mine.cap) if mine is not None else (0.0, 0.0)
@@ -165,54 +169,64 @@
         if wish <= 0.0 and keep <= 0.0 and hold <= 0.0 and not soft:
             return Grant(0, 0.0, 0.0, self.aim - self.granted(), len(self.held))
         spare = max(self.aim - self.granted(), 0.0)
-        fair = self.fair(who, wish, soft)
-        most = max(fair, self.aim - self.sums[1]) if soft else min(wish, fair)
+        fair = self.fair(who, wish, soft, pulls)
+        most = fair if not self.even or soft else min(wish, fair)
+        if soft and (self.even or self.sums[1] + (0.0 if pulls else wish) <= EDGE):  # nobody's wish is for it: to lend
+            most = max(most, self.aim - self.sums[1] - LOOSE * (self.sums[4] + (wish if pulls else 0.0)))
         # What it keeps stays its own even above a whole that was made less: it was granted, and is in use.
         part = max(min(most, spare), min(keep, had))
         if self.step:
             part = int(part / self.step + EDGE) * self.step
-        fair_cap = max(self._fair_cap(wish), min(least, self.depth))
+        fair_cap = max(self._fair_cap(0.0 if pulls else wish), min(least, self.depth))
         grow = max(fair_cap - hold, 0.0)
-        given = min(self.free, need, max(hold, fair_cap))
+        given = min(self.free, need if self.held or mine is not None else max(need, fair_cap))  # alone, all is with it
         slack = max(self.depth - self._caps() - hold - self.free, 0.0)
         self.free -= given
-        cap = hold + min(grow, slack + given)
+        cap = hold + max(min(grow, slack + given), given)
         self.last += 1
-        self._put(who, Held(self.last, part, wish, cap, soft))
+        self._put(who, Held(self.last, part, wish, cap, soft, pulls))
         self._summed(rules)
         rules.check(Rule.PARTS_IN_WHOLE, self.granted() <= max(self.aim, before) + 1e-6
                     and self._caps() + self.free <= max(self.depth, deep) + 1e-6,
                     lambda: f"{self.granted():g} of {self.aim:g}, depth {self._caps():g} and {self.free:g} of "
                             f"{self.depth:g} granted to {len(self.held)}")
+        lack = 0.0 if self.even else self._lack(who, wish, pulls)
         return Grant(self.last, part, given, self.aim - self.granted(), len(self.held), cap, fair, fair_cap,
-                     max(most, part - self._lack(who, wish)) if part > most else most,
-                     0.0 if self.even else self._lack(who, 0.0))
-
-    def _lack(self, who: Id, wish: float) -> float:
-        """What others have less than is due to their wishes beside this one."""
-        mine = self.held.get(who)
-        total = wish + max(self.sums[1] - (mine.wish if mine is not None else 0.0), 0.0)
-        scale = min(self.aim / total, 1.0) if total > 0.0 else 0.0
-        lack = 0.0
-        for one in self.held.values():
-            if one is not mine and (less := one.wish * scale - one.part) > 0.0:
+                     max(most, part - lack), lack)
+
+    def _lack(self, who: Id, wish: float, pulls: bool) -> float:
+        """What others have less than is due to their wishes beside this one, and what should be nobody's and is not."""
+        others = max(self.sums[1] - (0.0 if pulls else wish), 0.0)
+        loose = self._loose(0.0 if pulls else wish, others, self.sums[4])
+        lack = max(loose - (self.aim - self.granted()), 0.0)
+        scale = (self.aim - loose) / (others + (0.0 if pulls else wish)) if others > EDGE else 0.0
+        for other, one in self.held.items():
+            if other != who and not one.pulls and (less := one.wish * scale - one.part) > 0.0:
                 lack += less
         return lack
 
-    def fair(self, who: Id, wish: float, soft: bool = False) -> float:
+    def _loose(self, wish: float, others: float, pulls: float) -> float:
+        """What of the rate is to be nobody's: for those that pull, and what several do not need evenly."""
+        return min(self.aim, LOOSE * pulls + min(POOLED * min(self.aim, wish + others), others))
+
+    def fair(self, who: Id, wish: float, soft: bool = False, pulls: bool = False) -> float:
         """What one wish comes to beside those of all other holders; with what no wish needs where it is soft."""
         mine = self.held.get(who)
-        theirs, others = self.sums[1], len(self.held)
+        theirs, pulled, others = self.sums[1], self.sums[4] + (wish if pulls else 0.0), len(self.held)
         if mine is not None:
-            theirs, others = theirs - mine.wish, others - 1
-        left = self.aim - wish - max(theirs, 0.0)
+            others -= 1
+            theirs, pulled = (theirs, pulled - mine.wish) if mine.pulls else (theirs - mine.wish, pulled)
+        theirs = max(theirs, 0.0)
+        lenders = 1 + int(self.sums[3]) - (mine is not None and mine.soft)
+        if not self.even:  # what is not needed is held where it may be needed next, and lent there
+            own = 0.0 if pulls else wish
+            left = self.aim - self._loose(own, theirs, max(pulled, 0.0))
+            if own + theirs > EDGE:
+                return left * own / (own + theirs)
+            return left / lenders if soft and lenders <= MOST_SOFT else 0.0
+        left = self.aim - wish - theirs
         if left >= 0.0:
-            lenders = 1 + int(self.sums[3]) - (mine is not None and mine.soft)
-            if soft:
-                return wish + (left / lenders if lenders <= MOST_SOFT else 0.0)
-            return wish + left if self.even else wish
-        if not self.even:
-            return self.aim * wish / (self.aim - left)
+            return wish + left / (lenders if soft else 1)
         left, count = self.aim, others + 1
         wishes = [wish, *[one.wish for one in self.held.values() if one is not mine]]
         for one in sorted(wishes):  # max-min: the least wishes first
@@ -223,10 +237,12 @@
         return wish
 
     def _fair_cap(self, wish: float) -> float:
-        """An even part of `STANDBY` of the depth, for when traffic comes up, with one left for a newcomer; and of the
-        rest by wishes."""
+        """An even part of `STANDBY` of the depth, with one left for a newcomer, and by wishes of `BUSY` of it; all of it
+        for one that is alone."""
+        if not self.held:
+            return self.depth
         count, total = len(self.held) + 1, wish + max(self.sums[1], 0.0)
-        return self.depth * (STANDBY / (count + 1) + (1.0 - STANDBY) * (wish / total if total > 0.0 else 1.0 / count))
+        return self.depth * (STANDBY / (count + 1) + BUSY * (wish / total if total > 0.0 else 0.0))
 
     def excess(self, who: Id) -> float:
         """By how much a holder is above its fair part while others have less than theirs: it should give that back."""
@@ -257,7 +273,8 @@
     def dump(self) -> Any:
         """Plain data."""
         return [self.aim, self.depth, self.step, self.last, self.free, self.even, self.at_ms,
-                [[who, one.number, one.part, one.wish, one.cap, one.soft] for who, one in self.held.items()], self.sums]
+                [[who, one.number, one.part, one.wish, one.cap, one.soft, one.pulls]
+                 for who, one in self.held.items()], self.sums]
 
     @classmethod
     def load(cls, raw: Any) -> Divided:
--- a/fleet/node.py
+++ b/fleet/node.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
 from random import Random
@@ -269,6 +270,12 @@
             self._open(now)
         return effects
 
+    def _eager(self) -> float:
+        """When a holder wants to be polled before its usual time."""
+        if self.founding.record is None:
+            return math.inf
+        return min([getattr(holder, "due", math.inf) for holder in self.holders], default=math.inf)
+
     def _tick(self, now: float, raw: float, wall: float) -> list[Effect]:
         effects: list[Effect] = []
         if self.founding.due <= now:
@@ -295,7 +302,7 @@
             if self._places_at <= now:
                 self._places_at = now + PLACES_MS
                 effects += self._read_places(now, wall)
-        if self._poll_at <= now:
+        if self._poll_at <= now or self._eager() <= now:
             self._poll_at = now + (POLL_MS if self.holders else 10 * POLL_MS)
             if self.founding.record is not None:
                 for holder in self.holders:
@@ -308,6 +315,7 @@
                 self._leaving = None
                 effects.append(Done(token, None))
         self.due = min([self._work_at, self._poll_at, self.founding.due, self.membership.due,
+                        self._eager(),
                         *(replica.due for replica in self.replicas.values()),
                         *(min(call.until, call.again) for call in self._calls.values())])
         return effects
--- a/lab/fleet/world.py
+++ b/lab/fleet/world.py
@@ -222,6 +222,10 @@
         else:
             self._give(name, life, [Tick()])
 
+    def nudge(self, name: str, life: int) -> None:
+        """A process is told to look what is due."""
+        self._give(name, life, [Tick()])
+
     def _carry_out(self, machine: Machine, effects: list[Effect]) -> None:
         sends: dict[str, list[AnyMessage]] = {}
         for effect in effects:
@@ -600,6 +604,10 @@
             self.calendar.run(min(self.calendar.now + 200.0, until))
         return good()
 
+    def settle(self, ms: float) -> None:
+        """Let it run on."""
+        self._until(self.calendar.now + ms, lambda: False)
+
     def _mend(self) -> None:
         self.network.mend()
         for name, machine in self.machines.items():
