--- a/tests/test_fleet_attacks.py
+++ b/tests/test_fleet_attacks.py
@@ -1332,6 +1332,33 @@
     assert not (taken and refused), f"{got[0]}, and the contract is held"
 
 
+@pytest.mark.xfail(strict=True, reason="each bound is within a snapshot's, all together are not")
+def test_a_group_at_all_its_bounds_fits_into_a_snapshot() -> None:
+    made, few = state(), 64
+    wide = "\U0001f600"
+    for number in range(few):  # each answer is the value before
+        made.apply(0.0, 2 * number + 1, encode(0.0, promises.Promise(
+            id=f"p{number}", name=wide * 120 + f"{number:08}", value=wide * promises.MOST_VALUE)))
+        made.apply(0.0, 2 * number + 2, encode(0.0, promises.Promise(
+            id=f"q{number}", name=wide * 120 + f"{number:08}", value=wide * promises.MOST_VALUE)))
+        made.apply(0.0, 1000 + number, encode(0.0, owed.Owe(
+            id=f"o{number}", tenant="t", by="a/00000000",
+            lines=tuple(owed.Line(f"{at:064}", 1.5, 60_000.0) for at in range(owed.MOST_LINES)))))
+    parts = {name: len(msgspec.msgpack.encode(part.dump())) for name, part in made.parts.items()}
+    answers = max(len(answer) for _, answer in made._ids.values())
+    assert (parts["promises"] * promises.MOST / few + parts["owed"] * owed.MOST / few
+            + answers * fleet_state.MOST_IDS) < MOST_SNAPSHOT
+
+
+@pytest.mark.xfail(strict=True, reason="a refusal below what it acknowledged is passed over: it lags for good, unsaid")
+def test_a_member_that_lost_what_it_acknowledged_is_told_of() -> None:
+    """A folder put back from a copy: no promise holds for that, but nothing says so, and no copy takes its place."""
+    replica, _ = leading(5, 1, 1, 1)
+    replica.handle(2001.0, Received("b/1", Appended("g", 5, True, 4, 1)))
+    made = replica.handle(2002.0, Received("b/1", Appended("g", 5, False, 2, 1)))
+    assert [one for one in made if isinstance(one, Say) and one.level == "error"]
+
+
 @pytest.mark.xfail(strict=True, reason="it is handed to the copy as a store that broke, and told as that")
 def test_a_broken_rule_is_told_as_one() -> None:
     """Else an operator is told to see to a disk that has nothing."""
