Leave out every second beat of a quiet group, and let one waking and one frame serve all

An idle member of five (nine groups, three copies) sent some 90 messages a second, nearly each in a frame of its own, and took 48 to 60 ms of CPU a second, over half of it in the kernel's sending: each group beat at its own moment ten times a second, each member that leads read the placing 2.5 times a second, each reading with a round of its own, and the node woke 50 times a second for its holders.

Beats fall on multiples of heartbeat_ms by the machine's clock, so that one frame to each peer carries all groups led here and one brings their answers. A beat is left out where all have all, know it for committed and have answered the last round, and the next still falls within a third of election_ms. Check-quorum, stickiness and patience count from what was last heard, and read index makes a round of its own at once, so none of them rests on when beats go out; a lost beat or answer brings the next after heartbeat_ms as before. The placing is read each 400 ms while anything is amiss or was in the last 5 s, else each 0.8 to 1.6 s along with another reading. Holders are polled each 50 ms, or when one is due.

--- a/badgeryoke/fleet/links.py
+++ b/badgeryoke/fleet/links.py
@@ -398,7 +398,8 @@
                 peer.news.clear()
                 if peer.idle:
                     return True
-                await peer.news.wait()  # it wakes behind what else this turn of the loop has to say
+                await peer.news.wait()
+                await asyncio.sleep(0)  # what else this turn of the loop has to say
                 continue
             if to not in (peer.incarnation, peer.name, peer.name + "/"):
                 peer.lost += len(bodies)
--- a/fleet/node.py
+++ b/fleet/node.py
@@ -67,9 +67,11 @@
 LATE_MS = 1000.0  # a voter that has not caught up for so long is reported as behind
 HEARD_MS = 3000.0  # any other member reads it so often, to know whom to ask
 SOON_MS = 50.0  # and again so soon, while something changes
-PLACES_MS = 400.0  # a member that leads a group reads so often who is to copy it
+PLACES_MS = 400.0  # a member that leads a group reads so often who is to copy it, while not all is well
+CALM_MS = 1600.0  # and so often once all was well for
+WELL_MS = 5000.0  # so long (a roll's next gateway has gone by then), or along with another reading there after half
 ANY = "*"  # in Setup.servers: each server that is not named
-POLL_MS = 20.0  # the holders' calls are looked for so often
+POLL_MS = 50.0  # the holders' calls are looked for so often
 
 
 _replies = msgspec.msgpack.Decoder(tuple[Applied | None, AnyError | None, str])
@@ -124,7 +126,7 @@
         self._changing: dict[str, None] = {}  # groups with a change of members under way here
         self._places = Placing(setup.timings, rules)  # who is to copy what, as last read
         self._reading = False
-        self._places_at = self._heard_at = now
+        self._places_at = self._heard_at = self._unwell_at = self._read_at = now
         self._lags: dict[tuple[str, Id], float] = {}  # voters of groups led here that have not caught up, since when
         self._met: dict[Id, None] = {}  # heard by this process
         self._ahead: dict[str, float] = {}  # others' wall clocks less this one's
@@ -276,6 +278,11 @@
             return math.inf
         return min([getattr(holder, "due", math.inf) for holder in self.holders], default=math.inf)
 
+    @staticmethod
+    def _next(now: float, step: float) -> float:
+        """What comes again and again comes at multiples of its step, as heartbeats do: one waking serves all."""
+        return (now // step + 1.0) * step
+
     def _tick(self, now: float, raw: float, wall: float) -> list[Effect]:
         effects: list[Effect] = []
         if self.founding.due <= now:
@@ -293,21 +300,26 @@
             elif call.again <= now:
                 effects += self._try(now, wall, token, call)
         if self._work_at <= now and self.founding.record is not None:
-            self._work_at = now + self._timings.heartbeat_ms
+            self._work_at = self._next(now, self._timings.heartbeat_ms)
             for group, replica in list(self.replicas.items()):
                 if replica.leading and self._leaving is None:
                     effects += self._work(now, wall, group, replica)
                     if self.lead_nothing:
                         effects += self._feed(now, group, HandOver())
             if self._places_at <= now:
-                self._places_at = now + PLACES_MS
-                effects += self._read_places(now, wall)
+                self._places_at = self._next(now, PLACES_MS)
+                if not self._well():
+                    self._unwell_at = now
+                if now - self._unwell_at < WELL_MS or self._read_at + CALM_MS <= now + 1.0:
+                    effects += self._read_places(now, wall)
         if self._poll_at <= now or self._eager() <= now:
-            self._poll_at = now + (POLL_MS if self.holders else 10 * POLL_MS)
+            self._poll_at = self._next(now, POLL_MS)
             if self.founding.record is not None:
                 for holder in self.holders:
                     for command in holder.poll(now, wall):
                         effects += self._ask(now, wall, command, self._holder_answer(holder, command))
+                        if command.reads and not command.key() and now - self._read_at >= CALM_MS / 2.0:
+                            effects += self._read_places(now, wall)
         if self._leaving is not None:
             token, until = self._leaving
             if until <= now or not any(replica.leading and len(replica.config.voters) > 1
@@ -534,7 +546,7 @@
         if self._reading or not (leads or self._heard_at <= now):
             return []
         self._heard_at = now + HEARD_MS
-        self._reading = True
+        self._reading, self._read_at = True, now
 
         def read(at: float, result: Applied | FleetError) -> list[Effect]:
             self._reading = False
@@ -554,6 +566,13 @@
 
         return self._ask(now, wall, Places(id=self._token()), read)
 
+    def _well(self) -> bool:
+        """Whether all known members live, nothing moves, and nobody is behind: as last read, and in groups led here."""
+        return (not self._places.moves and len(self.membership.alive()) >= len(self._places.members)
+                and not any(held.behind for held in self._places.groups.values())
+                and not any(replica.leading and (replica.config.learners or replica.lagging())
+                            for replica in self.replicas.values()))
+
     def _late(self, now: float, group: str, replica: Replica) -> tuple[Id, ...]:
         """Voters that have long not caught up: not each lag is an entry in the fleet's log."""
         lagging = replica.lagging()
--- a/fleet/replica.py
+++ b/fleet/replica.py
@@ -87,6 +87,7 @@
 MOST_SNAPSHOT = 64 * 1024 * 1024  # bytes; a longer one is not taken in
 MOST_HELD = 4096  # messages that wait for the store; the oldest then counts as lost
 MOST_STORES = 1024  # stores open; a leader takes no proposals then
+QUIET = 3  # beats of a leader with nothing to say, within `election_ms`
 
 Told = Ask | Vote | Append | Appended | Piece | PieceTaken | Lead
 
@@ -193,6 +194,7 @@
         self._new_reads: list[str] = []  # wait for the next round
         self._round = self._round_back = 0
         self._beat = math.inf
+        self._beaten = -math.inf  # the last heartbeat
         self._lead_index = 0  # of the term's first entry
         self._quorum_until = -math.inf
         self._handing: tuple[Id, float] | None = None  # to whom, and until when
@@ -312,7 +314,10 @@
                 self._say("warning", "hand-over-failed", to=self._handing[0])
                 self._handing = None
             if now >= self._beat:
-                self._heartbeat(now)
+                if self._quiet(now):
+                    self._beat = self._grid(now)
+                else:
+                    self._heartbeat(now)
         elif now >= self._deadline and self.me in self.config.voters:
             self._stand(now)
 
@@ -456,10 +461,30 @@
         self._quorum_until = heard[self.config.majority() - 1] + self._timings.election_ms
         return now <= self._quorum_until
 
+    def _grid(self, now: float) -> float:
+        """The next multiple of `heartbeat_ms`: all groups led at one machine beat at one moment, and one frame to each
+        peer carries them, as one carries the answers."""
+        return (now // self._timings.heartbeat_ms + 1.0) * self._timings.heartbeat_ms
+
+    def _quiet(self, now: float) -> bool:
+        """Whether a beat may be left out: all have all, know that it is committed, and have answered the last round.
+
+        Who is silent for an election time counts for nothing here; a lost beat, or a lost answer, is one that was not
+        answered, and the next goes out after `heartbeat_ms`.  No promise rests on when beats go out: check-quorum and
+        stickiness count an election time from what was last heard, a follower's patience at least that, and `QUIET`
+        beats fall within it; a read sends a round of its own at once, and what is proposed goes out at once.
+        """
+        if (self._grid(now) - self._beaten > self._timings.election_ms / QUIET or self._handing is not None
+                or self._reads or self._new_reads or not self.leading or self.commit != self._log.last):
+            return False
+        return all(now - peer.heard >= self._timings.election_ms
+                   or (peer.round == self._round and peer.match == peer.goal == self.commit)
+                   for peer in self._peers.values())
+
     def _heartbeat(self, now: float) -> None:
         """One round to everybody; reads that wait are answered when a majority has answered it."""
         self._round += 1
-        self._beat = now + self._timings.heartbeat_ms
+        self._beat, self._beaten = self._grid(now), now
         if self.leading and self._new_reads:
             self._reads.extend((self._round, token) for token in self._new_reads)
             self._new_reads = []
