--- a/fleet/groups.py
+++ b/fleet/groups.py
@@ -35,6 +35,7 @@
 
 LONGEST_NAME = 64
 MOST_PAST = 4  # earlier Ids remembered of a name: none of them can come back
+SLOW = "the newcomer does not catch up"
 LONGEST_MOVE_MS = 60_000.0  # a newcomer that takes longer to catch up is given up, and not asked again for as long
 FORCED_TERMS = 1 << 20  # a forced group's term goes on by so much: no member given up can have reached it
 
@@ -200,7 +201,7 @@
         if move is None or move.new != command.new:
             return Applied(error=WrongState(command.group, "no such move is under way"))
         del self.moves[command.group]
-        if command.new:
+        if command.new and command.why == SLOW:  # one that was lost meanwhile is as good as any when it is back
             self.slow[command.new] = self.begun
         return Applied("forgone")
 
@@ -382,7 +383,7 @@
             if move.new and move.new not in held.voters and self._lost(view, move.new):
                 why = "the newcomer is lost"
             elif move.new and move.new not in held.voters and self._long(view, self._since.get((group, move.new))):
-                why = "the newcomer does not catch up"
+                why = SLOW
             elif not self._acts(view, held) and sum(self._lost(view, who) for who in held.voters) > len(
                     held.voters) - Config(held.voters).majority():
                 why = "the group has lost its majority"
--- a/fleet/rollout.py
+++ b/fleet/rollout.py
@@ -534,10 +534,10 @@
         away = gone | set(wave)
         alive = {name_of(who) for who in view.alive}
         missing, spare = 0, 1
-        for voters in view.groups.values():
-            names = [name_of(who) for who in voters]
-            missing += sum(name not in gone and name not in alive for name in names)
-            spare = min(spare, sum(name in alive and name not in away for name in names) - (len(names) // 2 + 1))
+        for voters in view.groups.values():  # by their Ids: one that came back with another store is no copy yet
+            missing += sum(name_of(who) not in gone and who not in view.alive for who in voters)
+            spare = min(spare, sum(who in view.alive and name_of(who) not in away for who in voters)
+                        - (len(voters) // 2 + 1))
         missing += sum(name_of(who) not in gone for found in view.behind.values() for who in found)
         halls = {view.halls[name] for name in alive if name in view.halls}
         left = {view.halls[name] for name in alive - away if name in view.halls}
--- a/tests/test_fleet_drains.py
+++ b/tests/test_fleet_drains.py
@@ -710,6 +710,16 @@
         assert done is not None and done.state is (State.DONE if hall == "south" else State.FAILED)
 
 
+def test_a_copy_of_an_earlier_incarnation_is_none() -> None:
+    """A machine that lost its disk and was back at once passed for whole until a leader had reported it."""
+    roll = Roll("r", RollAsk(id="1", roll="r"), gateways={"g0": rollout.Gateway()})
+    groups = {"G": ("g0/1", "g1/1", "g2/1")}
+    for here, fault in ((("g0/1", "g1/1", "g2/1"), None), (("g0/1", "g1/1", "g2/2"), "copies not whole: 1 missing")):
+        seen = view(0.0, 0.0, alive=frozenset(here), halls=dict.fromkeys(("g0", "g1", "g2"), "h"), groups=groups)
+        found = Rolls(Invariants()).count(seen, roll, ["g0"]).fault()
+        assert (found and found[1]) == fault
+
+
 def test_a_roll_takes_little_longer_than_the_limits_allow() -> None:
     world = Rolling(Random(0), loss=0.0)
     world.ask(at_once=3, warm_ms=2000.0)
--- a/tests/test_fleet_membership.py
+++ b/tests/test_fleet_membership.py
@@ -579,6 +579,24 @@
     assert fleet.placing.missing(fleet.view()) == []
 
 
+def test_a_newcomer_that_was_lost_meanwhile_is_taken_again_when_it_is_back() -> None:
+    """It was kept out for a minute as if it had been too slow, and of three members there is no other."""
+    fleet = Groups(["a"] * 3, groups=1)
+    name = name_of(fleet.config["g0"].voters[0])
+    fleet.kill(name)
+    fleet.back(name, 2)
+    while not fleet.placing.moves:
+        fleet.step()
+    fleet.behind = (f"{name}/2",)
+    fleet.kill(name)
+    while fleet.placing.moves:
+        fleet.step()
+    fleet.back(name, 2)
+    fleet.behind = ()
+    fleet.settle(30.0)
+    assert fleet.placing.missing(fleet.view()) == []
+
+
 @settings(max_examples=25, deadline=None, derandomize=True)
 @given(st.integers(0, 2**32))
 def test_whatever_goes_and_comes_the_copies_get_whole_and_stay_live(seed: int) -> None:
