Say hello to all members at a start, so that they dial back at once

A gateway that was back from a roll's restart was heard by each leader of its groups only when it had something to say to that one: its copies caught up 0.35 to 0.58 s after it served, in each wave.

--- a/badgeryoke/fleet/links.py
+++ b/badgeryoke/fleet/links.py
@@ -216,6 +216,13 @@
             loop.add_reader(one.fileno(), self._accept, one)
         loop.call_later(self.bounds.sweep_s, self._sweep)
 
+    def greet(self) -> None:
+        """Dial everybody: whoever leads a group with a copy here may wait long before it tries an address again that
+        was silent."""
+        for peer in self.peers.values():
+            if peer.task is None:
+                peer.task = self._run(self._speak(peer, True))
+
     def _accept(self, listening: socket.socket) -> None:
         try:
             made, address = listening.accept()
@@ -340,12 +347,13 @@
         if peer.task is None:
             peer.task = self._run(self._speak(peer))
 
-    async def _speak(self, peer: Peer) -> None:
-        """Dial while there is something to say.  What waited when that failed is lost: it is old by the time the peer
-        is back, and whoever is above says it anew."""
+    async def _speak(self, peer: Peer, greet: bool = False) -> None:
+        """Dial while there is something to say, and once in any case with `greet`.  What waited when that failed is
+        lost: it is old by the time the peer is back, and whoever is above says it anew."""
         bounds, loop = self.bounds, asyncio.get_running_loop()
         try:
-            while peer.count and not self._ended:
+            while (peer.count or greet) and not self._ended:
+                greet = False
                 if (pause := peer.not_before - loop.time()) > 0.0:
                     with contextlib.suppress(TimeoutError):
                         await asyncio.wait_for(peer.back.wait(), pause)
--- a/badgeryoke/fleet/service.py
+++ b/badgeryoke/fleet/service.py
@@ -181,6 +181,7 @@
             if self.on_floor is not None:
                 self.on_floor(self.floor, self.now)
         self.links.listen(sockets)
+        self.links.greet()
         log.info("fleet %s: member %s, %d members, %d groups held", self.fleet.name, setup.id,
                  len(setup.members), len(opened._groups))
         self._feed(Tick())
