--- a/lab/stage/fleet.py
+++ b/lab/stage/fleet.py
@@ -227,7 +227,8 @@
     def _back(self, now: float) -> None:
         """Those that were restarted and whose copies have caught up."""
         for me, marks in list(self._marks.items()):
-            if len(marks) == 5:
+            groups = self.seen[me]["groups"] if me in self.seen else {}
+            if len(marks) == 5 and groups and all(facts["leader"] for facts in groups.values()):
                 self._waves.append(marks["drained"] - marks["paused"] + now - marks["leaving"] + WARM_MS)
                 del self._marks[me]
 
