Propose a contract until there is room, and judge it on sockets by the book of simulated time

The laboratory proposed a contract before any capacity was stated, was told that there is no room, and gave a floor of a contract that was not in force. It proposes again until the window begins, tells whether it was admitted and how long calls for a part took, and gives no floor where it was not. What comes to a gateway that is cut off from most of the fleet counts as short and not against the floor, of which nothing is promised there.

--- a/badgeryoke/fleet/service.py
+++ b/badgeryoke/fleet/service.py
@@ -173,6 +173,7 @@
         opened.saved = {}  # the node's own from here on
         if self.pools is not None:
             self.pools.begin(self.node, self.rules)
+            self.pools.wake = self._wake
         if isinstance(holders := getattr(self.node, "holders", None), list):  # a node that is only driven has none
             hall = next(one.hall for one in setup.members if one.name == setup.me)
             self.floor = Floor(setup.id, secrets.token_hex(4), setup.timings, hall, len(setup.members))
@@ -357,7 +358,8 @@
             "fleet": self.fleet.name, "broken": self.rules.count, "errors": [str(error) for error in errors],
             "store": {"transactions": self._writer.transactions, "records": self._writer.records}
             if self._writer is not None else {},
-            "links": self.links.status() if self.links is not None else {}}
+            "links": self.links.status() if self.links is not None else {},
+            "contracts": self.floor.status(self._now()) if self.floor is not None else {}}
 
     # The end.
 
--- a/fleet/floor.py
+++ b/fleet/floor.py
@@ -563,5 +563,6 @@
     def status(self, now: float) -> dict[str, Any]:
         """For operators."""
         return {name: {"part": one.part, "level": one.level, "fair": one.fair, "asked": one.demand.rate(now),
+                       "call_ms": one.took, "waiting": one.queued(), "holders": one.holders,
                        "ends_in_ms": max(one.ends - now, 0.0), "drawn": one.drawn, "short": dict(one.short)}
                 for name, one in self.stakes.items()}
--- a/lab/stage/run.py
+++ b/lab/stage/run.py
@@ -293,7 +293,7 @@
             self.referee.answered(self.now, rid, kind)
             self.latency[kind].record_value(max(int((self.now - sent) * 1000.0), 1))
 
-        ended = self.fleet.asked(customer.number, sent, units) if self.fleet is not None else lambda kind: None
+        ended = self.fleet.asked(customer.number, sent, units, me) if self.fleet is not None else lambda kind: None
         self.referee.tried(sent, rid, customer.number, plan, units, me)
         if not self._doors[me].ask(words(b"SVC.QUERY", b"%016x" % customer.number, rid.encode(),
                                          fields.encode()), done):
@@ -326,7 +326,8 @@
                            for kind, one in self.latency.items() if one.get_total_count()},
             "memory_mb": [round(gateway.peak_kb / 1024.0, 1) for gateway in self._gateways],
             "emulator_lag_ms": round(self.worst_lag_ms, 1),
-            **({"promises": self.fleet.book.figures(), "rolls": self.fleet.rolls} if self.fleet is not None else {})}
+            **({"promises": self.fleet.book.figures(), "rolls": self.fleet.rolls,
+                "contracts": self.fleet.contracts} if self.fleet is not None else {})}
 
     def fleet_figures(self) -> FleetFigures:
         """What the fleet's part of the run came to; all empty where there is none."""
