Measure a whole gateway's CPU without a fleet and in one, in turns, and members that hold leases

The ratio of docs/measurements.md had no program that takes it again. It says how many queries were served and refused beside it: on a busy machine a gateway refuses, which is cheaper, and the ratio then says little; idle CPU is the surer figure.

--- a/lab/bench_fleet.py
+++ b/lab/bench_fleet.py
@@ -5,6 +5,7 @@
     python -m lab.bench_fleet promises [seconds]            acknowledged promises a second, and how long each took
     python -m lab.bench_fleet groups [seconds]              the same with 1, 4 and 16 groups
     python -m lab.bench_fleet messages                      messages a second a member, 3, 40 and 200 members, simulated
+    python -m lab.bench_fleet ratio [queries/s] [pairs]     CPU of a whole gateway, without a fleet and in one, in turns
     python -m lab.bench_fleet rules                         CPU with and without the checks of the invariants
 
 Figures go to docs/measurements.md, "Promises of a fleet".
@@ -23,6 +24,7 @@
 import sys
 import tempfile
 import time
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -39,12 +41,28 @@
 from lab.fleet.drawn import play_seed
 from lab.fleet.faults import Plan
 from lab.fleet.world import FleetWorld
+from lab.result import DEADLINE_MS
+from lab.stage.resp import words
+from lab.stage.run import Stage as RealStage
+from lab.text.scenario import PlanText, Scenario
 
 SERVERS = 8
 VALUE = "v" * 200
 SETTLE_S = 4.0
 
 
+class Wanting:
+    """A server link in whose use connections are."""
+
+    need = 2
+
+    def shrink(self, many: int, all_: bool) -> None:
+        """None is open."""
+
+    def grown(self) -> None:
+        """None is dialled."""
+
+
 class Idle:
     """A gateway that no roll asks anything of."""
 
@@ -72,6 +90,10 @@
     if pools:
         service.pools = Pools(fleet, Turns(loop), service.now, 30_000.0, Idle())
         service.pools.listed(f"s{at}" for at in range(SERVERS))
+        for at in range(SERVERS):
+            lease = service.pools.lease(f"s{at}")
+            assert lease is not None
+            lease.link = Wanting()
     service.start()
     profile: cProfile.Profile | None = None
     while line := await reader.readline():
@@ -279,6 +301,69 @@
     print(f"checked {min(took[True]):.2f} s, not {min(took[False]):.2f} s, ratio {ratio:.3f} (middle of {rounds} pairs)")
 
 
+def _cpu(stage: RealStage) -> float:
+    """CPU seconds of its first gateway, all threads."""
+    process = stage._gateways[0].process
+    assert process is not None
+    return sum(int(one.read_text().split()[0]) for one in Path(f"/proc/{process.pid}/task").glob("*/schedstat")) / 1e9
+
+
+async def _queries(stage: RealStage, rate: float, seconds: float) -> dict[str, int]:
+    """Ask its first gateway at an even rate; how they ended."""
+    loop, counts, out = asyncio.get_running_loop(), dict[str, int](), [0]
+    begun = loop.time()
+
+    def done(kind: str, wait_ms: float) -> None:
+        out[0] -= 1
+        counts[kind] = counts.get(kind, 0) + 1
+
+    for at in range(int(rate * seconds)):
+        await asyncio.sleep(max(begun + at / rate - loop.time(), 0.0))
+        stage._rids += 1
+        out[0] += 1
+        fields = f"c=balance-check,t=dealer,d={DEADLINE_MS:.0f},units=1,spread=1,first=0".encode()
+        if not stage._doors[0].ask(words(b"SVC.QUERY", b"%016x" % 1, b"%016x" % stage._rids, fields), done):
+            done("refused", 0.0)
+    while out[0]:
+        await asyncio.sleep(0.005)
+    return counts
+
+
+async def ratio(rate: float, pairs: int, seconds: float = 1.5, members: int = 5) -> None:
+    """CPU of a real gateway of no fleet, and of one of a fleet, under the same queries in turns."""
+    base = Scenario("bench", gateways=1, started=1, watch=False, servers=8, work_ms=(4.0, 8.0), slots=64,
+                    plans=(PlanText("dealer", 1e5, 1e5, 1e5, 1e5),), counter_calls=1e5)
+    stages = {"off": RealStage(base, 1), "on": RealStage(replace(
+        base, gateways=members, started=members, fleet=True, halls=2, connections=24), 1)}
+    used: dict[str, list[float]] = {"off": [], "on": []}
+    idle_: dict[str, list[float]] = {"off": [], "on": []}
+    ends: dict[str, dict[str, int]] = {"off": {}, "on": {}}
+    loop = asyncio.get_running_loop()
+    try:
+        for stage in stages.values():
+            await stage.open()
+            await _queries(stage, rate, 2.0)
+        await asyncio.sleep(SETTLE_S)
+        for _ in range(pairs):
+            for kind, stage in stages.items():
+                for what, many in ((idle_, 0.0), (used, rate)):
+                    before, begun = _cpu(stage), loop.time()
+                    if many:
+                        for end, count in (await _queries(stage, many, seconds)).items():
+                            ends[kind][end] = ends[kind].get(end, 0) + count
+                    else:
+                        await asyncio.sleep(seconds)
+                    what[kind].append((_cpu(stage) - before) / (loop.time() - begun) * 1000.0)
+    finally:
+        for stage in stages.values():
+            await stage.close()
+    for kind in stages:
+        print(f"{kind:3}: {statistics.median(used[kind]):6.1f} ms of CPU a second at {rate:.0f} queries a second, idle "
+              f"{statistics.median(idle_[kind]):5.1f} ({min(idle_[kind]):.1f} to {max(idle_[kind]):.1f}); {ends[kind]}")
+    parts = sorted(on / off for off, on in zip(used["off"], used["on"], strict=True))
+    print(f"ratio {statistics.median(parts):.3f}, {parts[0]:.3f} to {parts[-1]:.3f}, of {pairs} pairs")
+
+
 def main(given: list[str]) -> None:
     """See above."""
     logging.basicConfig(level=logging.ERROR)
@@ -299,6 +384,8 @@
             messages()
         case ["rules"]:
             rules()
+        case ["ratio", *rest]:
+            asyncio.run(ratio(float(rest[0]) if rest else 800.0, int(rest[1]) if rest[1:] else 12))
         case _:
             print(__doc__)
 
