Know copies to be whole by the leaders' word, and take a wave's steps without waiting for looks

A gateway that had just started told that its copies were whole: it had applied what it knew to be committed, and knew of nothing. It goes by what its leaders tell now. One of a wave that lost its disk while it turned clients away, and was back, left again with copies missing, since a wave's own were not counted; they are until it has left.

--- a/badgeryoke/fleet/pools.py
+++ b/badgeryoke/fleet/pools.py
@@ -133,6 +133,7 @@
         self._lingering: dict[socket.socket, tuple[Lease, asyncio.TimerHandle]] = {}
         self.alone = True  # no earlier process of this member answers clients still
         self.leaving = False  # the process is to end
+        self.wake: Callable[[], None] | None = None  # the node's driver: something is due at once
         self.keeper: Keeper | None = None
         self.rolled: Rolled | None = None
         self._node: Node | None = None
@@ -148,7 +149,8 @@
         boot = BOOT.read_text().strip() if BOOT.exists() else ""
         me = process(node.me, boot, secrets.token_hex(6))
         self.keeper = Keeper(me, node.setup.timings, rules, self.now(), self.alone)
-        self.rolled = Rolled(node.setup.me, me, len(node.setup.members))
+        self.rolled = Rolled(node.setup.me, me, len(node.setup.members),
+                             self._look_soon)
         self._node = node
         node.limits = dict(self._limits)
         if not node.setup.capacity:
@@ -297,6 +299,10 @@
         self._timer = self._events.call_later(LOOK_S, self._look)
         self._look_now()
 
+    def _look_soon(self) -> None:
+        """Not within the node's own turn."""
+        self._events.call_soon(self._look_now)
+
     def _look_now(self) -> None:
         keeper, rolled, node = self.keeper, self.rolled, self._node
         if keeper is None or rolled is None or node is None:
@@ -312,14 +318,15 @@
             leads=sum(one.leading for one in replicas),
             trimmed=all(pool.open - pool.closing <= pool.need for pool in keeper.pools.values()),
             drained=self._gateway.drained, empty=not self._gateway.unanswered and keeper.empty,
-            whole=node.founding.record is not None and all(
-                one.leader and one.applied == one.commit for one in replicas))
+            whole=node.founding.record is not None and all(one.whole for one in replicas))
         for duty in rolled.duties(now):
             log.info("roll %s: %s", rolled.record.get("roll"), duty.name.lower())
             if duty is Duty.LEAVE:
                 self._gateway.end()
             elif said := self._gateway.pause() if duty is Duty.PAUSE else self._gateway.resume():
                 log.warning("%s: %s", duty.name.lower(), said)
+        if rolled.due <= now and self.wake is not None:
+            self.wake()
         self._loop.run()
 
     def _close(self, keeper: Keeper, now: float) -> None:
--- a/fleet/replica.py
+++ b/fleet/replica.py
@@ -181,6 +181,7 @@
         self._out: list[Effect] = []
         # Of a follower or candidate.
         self._heard = -math.inf  # a leader's word
+        self._told_commit = math.inf  # what the leader last told to be committed; nothing yet
         self._patience = self._timings.election_ms * (1.0 + draw.random())
         self._deadline = now + self._patience
         self._votes: dict[Id, None] = {}
@@ -209,6 +210,11 @@
         """The configuration that holds here; empty at a newcomer."""
         return self._log.config or Config(())
 
+    @property
+    def whole(self) -> bool:
+        """Whether this copy has applied all that its leader told to be committed, at its last word."""
+        return self.leading or (bool(self.leader) and self._told_commit <= self.commit == self.applied)
+
     @property
     def config_index(self) -> int:
         """Where the configuration that holds here stands in the log; committed once `commit` is there."""
@@ -756,6 +762,7 @@
         log, entries, before = self._log, said.entries, said.previous
         if entries and (entries[0].index != before + 1 or entries[-1].index != before + len(entries)):
             return  # no leader sends that
+        self._told_commit = said.commit
         match = before + len(entries)
         if log.config is None:
             self._refuse(who, 0, said.round)
--- a/fleet/rollout.py
+++ b/fleet/rollout.py
@@ -12,7 +12,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+import math
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Any, ClassVar
@@ -31,8 +32,8 @@
 MOST_MS = 24 * 3_600_000.0
 BLOCK_MS = 1500.0  # a wave may wait so long for its conditions before the roll says that it is paused
 NEAR_MS = 50.0  # between two readings of a gateway that is under way
-READ_MS, PER_MEMBER_MS = 200.0, 10.0  # of another during a roll: the first, and more by the size of the fleet
-IDLE_MS = 1000.0  # without a roll, and longer in large fleets; the first wave waits for it
+READ_MS, PER_MEMBER_MS = 100.0, 10.0  # of another during a roll: the first, and more by the size of the fleet
+IDLE_MS = 500.0  # without a roll, and longer in large fleets; the first wave waits for it
 FRESH_MS = 1000.0  # a reading older than this makes nobody turn clients away or leave: it was frozen, or cut off
 GRANT_MS = 50.0  # beside a reading's time: others grow before the wave's gateways turn clients away
 
@@ -154,7 +155,7 @@
 class Facts(msgspec.Struct, frozen=True, array_like=True):
     """On what a leader decided that gateways may go: counted by `count`, beside the choice of them."""
 
-    missing: int  # copies that are dead or behind, but for those of gateways that a wave has taken away
+    missing: int  # copies that are dead or behind, but for those of gateways that a wave has ended
     spare: int  # voters beyond the majority in the group that has fewest, without the wave; 1 at the most
     halls: int  # halls that would be left without a gateway
     have: float  # units a second that what stays carries; below 0: not known
@@ -531,14 +532,16 @@
         contracts; "promised", the contracts' rates up to `horizon_ms` ahead.  Without a capacity room is not judged.
         """
         gone = {name for name, one in roll.gateways.items() if one.stand in AWAY}
+        # Before it has left a gateway of the wave has its copies, or has lost them meanwhile.
+        left = {name for name, one in roll.gateways.items() if one.stand in (G.ACTING, G.RETURNING)}
         away = gone | set(wave)
         alive = {name_of(who) for who in view.alive}
         missing, spare = 0, 1
         for voters in view.groups.values():  # by their Ids: one that came back with another store is no copy yet
-            missing += sum(name_of(who) not in gone and who not in view.alive for who in voters)
+            missing += sum(name_of(who) not in left and who not in view.alive for who in voters)
             spare = min(spare, sum(who in view.alive and name_of(who) not in away for who in voters)
                         - (len(voters) // 2 + 1))
-        missing += sum(name_of(who) not in gone for found in view.behind.values() for who in found)
+        missing += sum(name_of(who) not in left for found in view.behind.values() for who in found)
         halls = {view.halls[name] for name in alive if name in view.halls}
         left = {view.halls[name] for name in alive - away if name in view.halls}
         short = 0 if roll.ask.hall_may_go and left else len(halls - left)
@@ -692,6 +695,7 @@
     me: str  # its name
     process: Id  # this process: another one is another start
     members: int = 1  # of the fleet
+    moved: Callable[[], None] | None = None  # told that the stand is another, so that the shell looks at once
     paused: bool = False  # by a roll; what an operator paused is left alone
     left: bool = False
     record: dict[str, Any] = field(default_factory=dict)
@@ -754,6 +758,13 @@
                 G.UNDOING: "resumed"}.get(stand, "")
         return what if what and self._ready.get(what) and self.record["told"] != what else ""
 
+    @property
+    def due(self) -> float:
+        """When it has something to ask or to say: a step of the roll waits for it."""
+        if self._under_way:
+            return math.inf
+        return -math.inf if self._out is None and self._report() else self._next
+
     def poll(self, now: float, wall: float) -> list[Command]:
         """See fleet.node.Holder."""
         if self._under_way or (now < self._next and (self._out is not None or not self._report())):
@@ -773,7 +784,10 @@
         self._under_way = False
         error = result if isinstance(result, FleetError) else result.error
         if error is None and isinstance(result, Applied):
-            self.record, self._out, self._read = result.value, None, self._asked
+            before, self.record = self.record, result.value
+            self._out, self._read = None, self._asked
+            if self.moved is not None and before.get("stand") != self.record.get("stand"):
+                self.moved()
             self._next = now + max(self.record["read_ms"], 0.0 if self.record["roll"] else PER_MEMBER_MS * self.members)
             return
         if isinstance(self._out, RollRead) or isinstance(error, BadCall | NotThere | TakenId | WrongState):
--- a/lab/fleet/faults.py
+++ b/lab/fleet/faults.py
@@ -11,7 +11,7 @@
 from functools import partial
 from random import Random
 
-from lab.text.scenario import ContractText, Fault, RollText
+from lab.text.scenario import STANDS, ContractText, Fault, RollText
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,10 +78,17 @@
         if kind == "drains":
             everybody = tuple(range(1, plan.members + 1))
             plan = replace(plan, connections=rng.choice((plan.members, 12, 30)), servers=rng.choice((2, 4)),
-                           rolls=(RollText("roll", rng.uniform(4000.0, 6000.0), everybody, rng.choice((1, 1, 2))),))
+                           rolls=(RollText("roll", rng.uniform(4000.0, 6000.0), everybody, rng.choice((1, 1, 2)),
+                                           _kills(seed)),))
     return replace(plan, faults=tuple(sorted(_faults(rng, plan, kind), key=lambda fault: fault.at_ms)))
 
 
+def _kills(seed: int) -> tuple[str, ...]:
+    """At which of a roll's steps its scheduler is killed: at none in half of the plans."""
+    rng = Random(f"plan/{seed}/kills")
+    return tuple(rng.sample(STANDS, rng.randint(1, 3))) if rng.random() < 0.5 else ()
+
+
 def _split(rng: Random, members: int, least: int = 1) -> tuple[tuple[int, ...], tuple[int, ...]]:
     order = list(range(1, members + 1))
     rng.shuffle(order)
--- a/lab/fleet/figures.py
+++ b/lab/fleet/figures.py
@@ -24,6 +24,7 @@
     roll_state: str | None = None
     roll_lost: int | None = None  # queries without an answer by the roll
     invariants_broken: int | None = None
+    roll_ratio: float | None = None  # a roll's time to the least that the limits allow
 
     def plain(self) -> dict[str, Any]:
         """As plain values, rounded, in a fixed order."""
--- a/lab/fleet/world.py
+++ b/lab/fleet/world.py
@@ -653,4 +653,5 @@
             verdict.acknowledged, verdict.lost, verdict.twice, self.most_leaders, self.unavailable_ms, self.restored_ms,
             gates.contract_floor(), gates.contract_over(), gates.shortfall_error(), gates.lent_share(),
             gates.connections_over if plan.connections else None,
-            next(iter(gates.roll_states.values()), None), gates.roll_lost if plan.rolls else None, rules)
+            next(iter(gates.roll_states.values()), None), gates.roll_lost if plan.rolls else None, rules,
+            gates.roll_ratio)
--- a/tests/test_fleet_drains.py
+++ b/tests/test_fleet_drains.py
@@ -718,6 +718,11 @@
         seen = view(0.0, 0.0, alive=frozenset(here), halls=dict.fromkeys(("g0", "g1", "g2"), "h"), groups=groups)
         found = Rolls(Invariants()).count(seen, roll, ["g0"]).fault()
         assert (found and found[1]) == fault
+    # One that loses its disk while it is turning clients away has no copies to leave behind; one that has left has.
+    lost = view(0.0, 0.0, alive=frozenset(("g0/2", "g1/1", "g2/1")), halls={"g0": "h", "g1": "h"}, groups=groups)
+    for stand, missing in ((Stand.EMPTYING, 1), (Stand.ACTING, 0)):
+        roll.gateways["g0"].stand = stand
+        assert Rolls(Invariants()).count(lost, roll, ()).missing == missing
 
 
 def test_a_roll_takes_little_longer_than_the_limits_allow() -> None:
--- a/tests/test_fleet_planted.py
+++ b/tests/test_fleet_planted.py
@@ -295,7 +295,7 @@
     who = ((Random(seed).randint(1, 5),),)
     return Plan(seed, 5, length_ms=10_000.0, proposals=5.0, connections=10, servers=1,
                 faults=(Fault(2500.0, "lose", "gateway", who), Fault(9500.0, "start", "gateway", who)),
-                rolls=(RollText("r", 4000.0, tuple(n for n in range(1, 6) if n != who[0][0])),))
+                rolls=(RollText("r", 4500.0, tuple(n for n in range(1, 6) if n != who[0][0])),))
 
 
 def plans(planted: Planted) -> Iterable[Plan]:
--- a/tests/test_fleet_replica.py
+++ b/tests/test_fleet_replica.py
@@ -625,6 +625,17 @@
     assert newcomer.handle(1.0, Received("b/1", Ask("g", 9, 3, 2, False))) == [] and newcomer.due == float("inf")
 
 
+def test_a_copy_is_whole_when_it_has_what_its_leader_told_to_be_committed() -> None:
+    """After a start, having applied what it knows to be committed says nothing: it knows of nothing."""
+    founded = Saved(3, "", Snapshot(0, 0, THREE, msgspec.msgpack.encode([])), (Entry(1, 1, COMMAND, b"x"),))
+    replica, _ = alone(founded)
+    assert replica.applied == replica.commit and not replica.whole
+    for index, previous, whole in ((1, 0, False), (2, 1, False), (3, 2, True)):
+        said = Append("g", 3, previous, int(previous > 0), (Entry(index, 1, COMMAND, b"x"),), 3, 1)
+        replica.handle(float(index), Received("b/1", said))
+        assert replica.leader == "b/1" and replica.whole is whole
+
+
 def test_an_earlier_incarnation_does_not_count() -> None:
     for kind in (Replica, ByName):
         replica = kind("g", "a/1", Saved(), Kept(World(0, 0)), TIMINGS, random.Random(1), Invariants(), 0.0, THREE)
