--- a/lab/stage/clients.py
+++ b/lab/stage/clients.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 from collections import deque
 from collections.abc import Callable
 
@@ -30,7 +31,7 @@
             return False
         while self._idle:
             client = self._idle.pop()
-            if client.transport is not None and not client.transport.is_closing():
+            if client.usable():
                 client.send(data, done)
                 return True
         self._waiting.append((data, done))
@@ -108,6 +109,15 @@
         self._door = door
         self._done: Done | None = None
 
+    def usable(self) -> bool:
+        """Whether the far end has not closed it.  What lies unread tells, though this process may be late to read it: a
+        client of its own would have known."""
+        if self.transport is None or self.transport.is_closing():
+            return False
+        look = select.poll()
+        look.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return not look.poll(0)
+
     def send(self, data: bytes, done: Done) -> None:
         """Send one try."""
         self._done = done
