--- a/tests/test_fleet_attacks.py
+++ b/tests/test_fleet_attacks.py
@@ -388,7 +388,7 @@
 def test_a_member_of_which_the_record_is_not_stored_yet_says_neither_none_nor_that() -> None:
     node = Founding(YARD, Saved(), Random(1), 0.0)
     assert [type(one) for one in node.handle(1.0, Received("a/1", Found(msgspec.msgpack.encode(FOUNDED))))] == [Store]
-    assert node.handle(2.0, Received("c/1", WhoAreYou("x"))) == []
+    assert node.handle(2.0, Received("c/1", WhoAreYou("x"))) == [] and node.record is None
     node.handle(3.0, Stored(FOUNDING, 1))
     assert node.handle(4.0, Received("c/1", WhoAreYou("x"))) == [Send("c/1", IAm("x", msgspec.msgpack.encode(FOUNDED)))]
     other = msgspec.msgpack.encode(msgspec.structs.replace(FOUNDED, founding="02"))
@@ -531,7 +531,10 @@
     assert whole.ask("a", 0, 0.0, 6.0, 0.0, rules).part == 6.0  # type: ignore[union-attr]
     assert isinstance(whole.ask("a", 1, 7.0, 7.0, 0.0, rules), BadCall)
     assert whole.ask("a", 1, 6.0, 6.0, 0.0, rules).number == 2  # type: ignore[union-attr]
-    assert not whole.end("a", 1) and whole.granted() == 6.0 and whole.end("a", 2)
+    assert not whole.end("a", 1) and whole.granted() == 6.0
+    whole.grow("a", 2.0)
+    assert whole.ask("b", 0, 0.0, 9.0, 0.0, rules).part == 2.0  # type: ignore[union-attr]
+    assert whole.end("a", 2) and whole.granted() == 2.0
 
 
 def test_a_leap_of_the_groups_time_fills_no_bucket() -> None:
