Count what a cut-off gateway tells late within the busy time that it belongs to

What a gateway drew unheard was counted twice: as due and not drawn for others, and as nothing for itself, request by request. It is now taken off what is owed as long as the busy time is open, and summed by report after.

--- a/fleet/contracts.py
+++ b/fleet/contracts.py
@@ -822,19 +822,26 @@
     owed: float = 0.0  # due and not drawn, in this busy time
     gone: float = 0.0  # of that, counted short already
     short: float = 0.0
+    begun: int = 0  # the first slice of this busy time
 
     def note(self, by: str, slices: Iterable[tuple[int, float, float]], rate: float, newest: int) -> None:
-        """Take in what one gateway tells."""
+        """Take in what one gateway tells.  Late, it is due as far as the rate of that time was not asked for elsewhere;
+        what it drew in a busy time that is not over was not there for others, who were due it in its place."""
+        owed = 0.0
         for at, asked, drawn in slices:
             if at <= self.last:
-                if at > newest - KEPT_SLICES:  # late: due as far as the rate of that time was not asked for elsewhere
+                if at > newest - KEPT_SLICES:
                     bin_ = at // COARSE
                     before = self.due.get(bin_, 0.0)
                     late = min(asked, max(rate * COARSE * SLICE_MS / 1000.0 - before, 0.0))
                     self.due[bin_] = before + late
-                    self.short += max(late - drawn, 0.0)
+                    if at >= self.begun:
+                        self.owed += late - drawn
+                    else:
+                        owed += late - drawn
             elif at <= newest + AHEAD_SLICES:
                 self.told.setdefault(at, {})[by] = asked, drawn
+        self.short += max(owed, 0.0)
 
     def settle(self, upto: int, rate: float, burst: float) -> None:
         """Compare slices up to there."""
@@ -843,6 +850,7 @@
         for at in sorted(at for at in self.told if at <= upto):
             if (at - self.last) * SLICE_MS > REST_MS:
                 self._rest()
+                self.begun = at
             filled = rate * SLICE_MS * (at - self.last) / 1000.0
             self.level = burst if self.level < 0.0 else min(self.level + filled, burst)
             self.last = at
@@ -863,6 +871,7 @@
         """Nothing was asked for: what is owed now was never drawn."""
         self.short += max(self.owed - self.gone, 0.0)
         self.owed = self.gone = 0.0
+        self.begun = self.last + 1
 
 
 @dataclass(slots=True)
@@ -1061,7 +1070,8 @@
         return [self.last, [[name, one.tenant, one.version, one.rate, one.times, one.parts.dump(),
                              msgspec.to_builtins(one.coming), one.switch, one.answers, one.orders,
                              [[[at, by] for at, by in one.tally.told.items()], list(one.tally.due.items()),
-                              one.tally.level, one.tally.last, one.tally.owed, one.tally.gone, one.tally.short]]
+                              one.tally.level, one.tally.last, one.tally.owed, one.tally.gone, one.tally.short,
+                               one.tally.begun]]
                             for name, one in self.held.items()]]
 
     def load(self, raw: Any) -> None:
