Make a roll's steps one at a time on its count, and let a new leader know who is behind

Both gateways of a wave had turned clients away when a repair put a copy of the same group at each: neither could leave for the other, and the roll stood for good; a majority is judged for whoever leaves now. Steps counted on the same facts could have been taken together; each carries the count that it was made on. A leader that had only just begun took all copies for caught up for a second.

--- a/fleet/node.py
+++ b/fleet/node.py
@@ -574,10 +574,12 @@
                             for replica in self.replicas.values()))
 
     def _late(self, now: float, group: str, replica: Replica) -> tuple[Id, ...]:
-        """Voters that have long not caught up: not each lag is an entry in the fleet's log."""
+        """Voters that have long not caught up: not each lag is an entry in the fleet's log.  A leader that has only just
+        begun knows of none how long; it counts those of whom it has not heard yet."""
         lagging = replica.lagging()
         self._lags = {key: since for key, since in self._lags.items() if key[0] != group or key[1] in lagging}
-        return tuple(who for who in lagging if now - self._lags.setdefault((group, who), now) >= LATE_MS)
+        fresh = now - replica.lead_since < LATE_MS
+        return tuple(who for who in lagging if now - self._lags.setdefault((group, who), now) >= LATE_MS or fresh)
 
     def _members(self, now: float, wall: float, group: str, replica: Replica) -> list[Effect]:
         """One step of a change of members, or the report of how they stand."""
--- a/fleet/rollout.py
+++ b/fleet/rollout.py
@@ -250,6 +250,7 @@
     round: int
     step: str  # a Step's name
     facts: Facts | None = None
+    stamp: int = -1  # the roll's count of changes on which the facts were counted, where there are any
 
 
 class RollReport(Command, frozen=True):
@@ -465,6 +466,8 @@
             return Applied(error=WrongState(roll.name, f"{command.gateway} has moved on"))
         if step in NEEDS:
             other = E.ACT if roll.ask.act == "hold" else E.HOLD
+            if command.stamp != roll.changes:
+                return Applied(error=WrongState(roll.name, "it has moved on"))  # another may have left since
             if roll.state is not S.RUNNING or one.told != NEEDS[step] or step is other:
                 return Applied(error=WrongState(roll.name, f"{command.gateway} is not ready for that"))
             if said := self._allowed(roll, command.facts):
@@ -525,8 +528,9 @@
 
     # What the leader proposes.
 
-    def count(self, view: View, roll: Roll, wave: Iterable[str]) -> Facts:
-        """What would be left without the wave and those away already.
+    def count(self, view: View, roll: Roll, wave: Iterable[str], leaving: str = "") -> Facts:
+        """What would be left without the wave and those away already.  `leaving`: who of them would leave now;
+        majorities are judged without that one and those that have left: the others' copies are there until they do.
 
         `view.load`: "capacity", units a second that all live gateways carry; "demand", what is asked for outside of
         contracts; "promised", the contracts' rates up to `horizon_ms` ahead.  Without a capacity room is not judged.
@@ -535,11 +539,13 @@
         # Before it has left a gateway of the wave has its copies, or has lost them meanwhile.
         left = {name for name, one in roll.gateways.items() if one.stand in (G.ACTING, G.RETURNING)}
         away = gone | set(wave)
+        held = {name for name, one in roll.gateways.items() if one.stand is G.HELD}
+        off = left | held | {leaving} if leaving else away
         alive = {name_of(who) for who in view.alive}
         missing, spare = 0, 1
         for voters in view.groups.values():  # by their Ids: one that came back with another store is no copy yet
             missing += sum(name_of(who) not in left and who not in view.alive for who in voters)
-            spare = min(spare, sum(who in view.alive and name_of(who) not in away for who in voters)
+            spare = min(spare, sum(who in view.alive and name_of(who) not in off for who in voters)
                         - (len(voters) // 2 + 1))
         missing += sum(name_of(who) not in left for found in view.behind.values() for who in found)
         halls = {view.halls[name] for name in alive if name in view.halls}
@@ -598,7 +604,7 @@
         round_ = roll.gateways[name].round
         # The roll's count is in the id: a step refused where the roll stood then may be made where it stands now.
         return RollStep(id=f"roll/{roll.name}/{roll.changes}/{name}/{round_}/{step.name}", roll=roll.name, gateway=name,
-                        round=round_, step=step.name, facts=facts)
+                        round=round_, step=step.name, facts=facts, stamp=roll.changes)
 
     def _plan(self, view: View, roll: Roll) -> RollTurn:
         """Who comes when: as asked for, and this leader last, so that it hands over once."""
@@ -624,20 +630,20 @@
         return ""
 
     def _further(self, view: View, roll: Roll) -> tuple[str, list[Command]]:
-        """The steps that could be made now, and what is in their way."""
-        made: list[Command] = []
-        facts = self.count(view, roll, ())
+        """The step that could be made now, one since it changes the facts of the next, or what is in the way."""
+        said = ""
         for name, one in roll.gateways.items():
             step = {G.GRANTING: E.ROOMY, G.EMPTYING: E.HOLD if roll.ask.act == "hold" else E.ACT}.get(one.stand)
             if step is None or one.told != NEEDS[step]:
                 continue
             if step is E.ROOMY and view.wall - one.since < GRANT_MS + roll.reading_ms():
                 continue  # the others are growing
-            if (found := facts.fault()) is not None:
-                return found[1], []
-            made.append(self._stepped(roll, name, step, facts))
-        if made or roll.under_way():
-            return "", made
+            facts = self.count(view, roll, (), "" if step is E.ROOMY else name)
+            if (found := facts.fault()) is None:
+                return "", [self._stepped(roll, name, step, facts)]
+            said = said or found[1]
+        if said or roll.under_way():
+            return said, []
         return self._next(view, roll)
 
     def _next(self, view: View, roll: Roll) -> tuple[str, list[Command]]:
--- a/tests/test_fleet_drains.py
+++ b/tests/test_fleet_drains.py
@@ -19,7 +19,20 @@
 from fleet.invariants import Broken, Invariants, Rule
 from fleet.messages import name_of
 from fleet.part import Applied, Command, View
-from fleet.rollout import Duty, Facts, Roll, RollAsk, RollCancel, Rolled, RollResume, Rolls, Stand, State, least_ms
+from fleet.rollout import (
+    Duty,
+    Facts,
+    Roll,
+    RollAsk,
+    RollCancel,
+    Rolled,
+    RollResume,
+    Rolls,
+    RollStep,
+    Stand,
+    State,
+    least_ms,
+)
 from fleet.timings import Timings
 
 STEP = 100.0
@@ -725,6 +738,22 @@
         assert Rolls(Invariants()).count(lost, roll, ()).missing == missing
 
 
+def test_two_of_a_wave_that_come_to_share_a_group_leave_one_after_the_other() -> None:
+    """A copy was made again at one of them while both turned clients away: neither could leave, for good."""
+    rolls = Rolls(Invariants())
+    rolls.rolls["r"] = roll = Roll("r", RollAsk(id="1", roll="r", at_once=2), State.RUNNING, gateways={
+        name: rollout.Gateway(Stand.EMPTYING, told="empty") for name in ("g0", "g1")})
+    seen = view(0.0, 0.0, alive=frozenset(("g0/1", "g1/1", "g2/1")), halls=dict.fromkeys(("g0", "g1", "g2"), "h"),
+                groups={"G": ("g0/1", "g1/1", "g2/1")})
+    stale = msgspec.structs.replace(rolls.work(seen)[0], gateway="g1")
+    (step,) = rolls.work(seen)
+    assert rolls.apply(0.0, step).error is None and roll.gateways["g0"].stand is Stand.ACTING
+    assert isinstance(rolls.apply(0.0, stale).error, WrongState)  # counted before the other left
+    assert not [one for one in rolls.work(seen) if isinstance(one, RollStep)]
+    roll.gateways["g0"].stand = Stand.WARMING
+    assert [one.gateway for one in rolls.work(seen) if isinstance(one, RollStep) and one.step == "ACT"] == ["g1"]
+
+
 def test_a_roll_takes_little_longer_than_the_limits_allow() -> None:
     world = Rolling(Random(0), loss=0.0)
     world.ask(at_once=3, warm_ms=2000.0)
