--- a/lab/stage/fleet.py
+++ b/lab/stage/fleet.py
@@ -17,8 +17,8 @@
 from fleet.groups import copies_for, group_of
 from fleet.part import FLEET
 from fleet.rollout import least_ms
+from lab.fleet.books import FEW, least
 from lab.fleet.books import Book as ContractBook
-from lab.fleet.books import least
 from lab.fleet.figures import FleetFigures
 from lab.stage.links import Links
 from lab.stage.process import STORE, GatewayProcess
@@ -404,13 +404,18 @@
                 for name, one in value["contracts"].items():
                     self._told_short[name] = sum(one["short"].values())
                     book, took = self._books[name], sorted(self._lease_ms.get(name, [0.0]))
+                    # By the gateways' own count of what they drew, in which nothing is that was served as to anybody.
+                    drawn = sum(units for (contract, _), units in self._drawn.items() if contract == name)
+                    due = sum(due for due, _ in book.times)
+                    lacked = one["short"].get("no lease", 0.0)
                     self.contracts[name].update(
+                        lacked_error=round(abs(lacked - due + drawn) / max(due - drawn, FEW * due, 1.0), 4),
                         state=one["state"],
                         worst=dict(sorted(self._seconds(name).items(), key=lambda found: found[1])[:5]),
                         lease_ms={f"p{part}": round(took[len(took) * part // 100], 1) for part in (50, 90, 99)},
                         told_short={cause: round(units, 2) for cause, units in one["short"].items()},
-                        drawn=round(sum(units for (drawn, _), units in self._drawn.items() if drawn == name), 1),
-                        short=round(book.short(), 2), due=round(sum(due for due, _ in book.times), 1),
+                        drawn=round(drawn, 1),
+                        short=round(book.short(), 2), due=round(due, 1),
                         served=round(sum(served for _, served in book.times), 1))
         await self.client.read_back(READ_S + READ_EACH_S * len(self.book.acknowledged))
 
