Keep the claim of a batch that comes again when its answer is forgotten

Seen while bounding remembered answers: a call's id and answer are kept among the last 8,192 of its group, and a repeat after that is new. An Owe that came so late put the batch in anew and took its claim away, so that a second gateway could claim and tell it: units twice at the counter, which the part promises never to do. Ruled out: repeats within the remembered ids (answered as the first time) and batches that were told (gone; a repeat of those stays possible and is bounded by LATE_MS). At fault: fleet/owed.py, Owed.apply, case Owe: it wrote over what lay under the same name. Change: a batch that still waits is answered as taken and stays as it is. Test before: the second claim was given the lines. After: it is refused, the first goes on.

--- a/fleet/owed.py
+++ b/fleet/owed.py
@@ -99,6 +99,8 @@
             self._close(name, False)
         match command:
             case Owe():
+                if command.id in self._batches:
+                    return Applied(True)  # its answer was forgotten, the batch was not: a claim of it goes on
                 if len(self._batches) >= MOST:
                     return Applied(error=Crowded(command.id, f"{MOST} batches wait already"))
                 self._batches[command.id] = at_ms, command.tenant, command.by, command.lines, ""
--- a/tests/test_fleet_attacks.py
+++ b/tests/test_fleet_attacks.py
@@ -1355,6 +1355,23 @@
             + answers * fleet_state.MOST_IDS) < MOST_SNAPSHOT
 
 
+def narrow_batch(number: int) -> owed.Owe:
+    return owed.Owe(id=f"{number:0128}", tenant="t", by="a/00000000", lines=tuple(
+        owed.Line(f"{at:064}", 1.5, 60_000.0) for at in range(owed.MOST_LINES)))
+
+
+def test_a_batch_that_comes_again_when_its_answer_is_forgotten_keeps_its_claim(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Else it could be claimed, and told to the counter, twice."""
+    monkeypatch.setattr(fleet_state, "MOST_IDS", 1)
+    made = state()
+    made.apply(0.0, 1, encode(0.0, narrow_batch(1)))
+    claim = owed.Claim(id="c", tenant="t", batch=narrow_batch(1).id, by="b/1")
+    made.apply(0.0, 2, encode(0.0, claim))
+    assert made.apply(0.0, 3, encode(0.0, narrow_batch(1))).value is True
+    other = owed.Claim(id="d", tenant="t", batch=claim.batch, by="c/1")
+    assert isinstance(made.apply(0.0, 4, encode(0.0, other)).error, WrongState)
+
+
 @pytest.mark.xfail(strict=True, reason="a refusal below what it acknowledged is passed over: it lags for good, unsaid")
 def test_a_member_that_lost_what_it_acknowledged_is_told_of() -> None:
     """A folder put back from a copy: no promise holds for that, but nothing says so, and no copy takes its place."""
