Take an answer of discovery without a length, which ends with an orderly close

Behind any good answer that closed (Connection: close, HTTP/1.0) HostGroup._watch went into a pause of the back-off, up to 5.4 s after a crowd, and the new connection's first call waited 0.1 s only: some ten calls a second without end. Behind a 1xx, a last chunk or a chunk's size no byte was counted (Response.feed), and a read that finds more does not wait, so no time limit ended such an answer.

Ruled out on real sockets: StreamClosedError.real_error is None for an orderly end and set for a reset, also where the bytes and the reset lie ready together (nothing asks the socket for its error before the read); it is None also where this side closes, which the checks on a move and a stop behind it catch.

Change: an orderly close ends an answer whose head is over and that is bounded by neither a length nor chunks; its JSON has to be whole. A good answer is followed by the next call at once, which may wait as long as any; only a fault makes the next one a short one. A length in a 1xx says nothing of the answer, a transfer coding other than chunked bounds nothing, another status than 200 is told at its head, and all bytes of an answer are counted.

--- a/badgeryoke/host_group.py
+++ b/badgeryoke/host_group.py
@@ -19,7 +19,7 @@
 
 import httptools
 import ujson
-from tornado.iostream import IOStream
+from tornado.iostream import IOStream, StreamClosedError
 
 from badgeryoke.actor import READ_CHUNK, Actor, Turns, dial
 from martenstep.interface import Members, Scope, Server, State
@@ -46,6 +46,7 @@
 AGAIN_S = 0.05  # the next try lies anywhere in this time
 SHORT_TRIES = 2
 MAX_HEAD, MAX_BODY = 16 * 1024, 4 * 1024 * 1024
+MAX_READ = 2 * MAX_BODY  # with the sizes of chunks and what follows the last: no read waits where more lies ready
 STATES = {"active": State.UP, "leaving": State.DRAINING, "left": State.GONE}
 
 
@@ -112,34 +113,44 @@
     def __init__(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
         self._headed = self._whole = self._bounded = False
-        self._read = 0  # bytes of the head
+        self._read = 0
         self.body = bytearray()
         self.status = 0
         self.keep = True
 
     def feed(self, data: bytes) -> bool:
         """Whether the response is whole; raises ValueError where it is malformed or too large."""
-        if not self._headed:  # the parser bounds no head; what is read at once goes beyond it by one piece
-            self._read += len(data)
-            if self._read > MAX_HEAD + READ_CHUNK:
-                raise ValueError("head too large")
+        self._read += len(data)  # the parser bounds nothing; what is read at once goes beyond by one piece
+        if self._read > (MAX_READ if self._headed else MAX_HEAD) + READ_CHUNK:
+            raise ValueError("body too large" if self._headed else "head too large")
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as fault:
             raise ValueError(f"no HTTP response: {fault.__context__ or fault}") from None
         return self._whole
 
+    def ended(self) -> bool:
+        """The other side has closed in good order: whether that was the end of the response."""
+        self.keep = False
+        return self._headed and not self._bounded
+
     # What the parser calls.
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if name.lower() == b"content-length" and int(value) > MAX_BODY:
             raise ValueError("body too large")
-        self._bounded |= name.lower() in (b"content-length", b"transfer-encoding")
+        # Of transfer codings only "chunked", the last one, tells where the body ends.
+        self._bounded |= name.lower() == b"content-length" or (
+            name.lower() == b"transfer-encoding" and value.lower().rstrip().endswith(b"chunked"))
 
     def on_headers_complete(self) -> None:
-        self._headed, self.status = True, self._parser.get_status_code()
-        if not self._bounded and self.status >= 200:  # it would end with the connection, and may be cut short
-            raise ValueError("no length")
+        self.status = self._parser.get_status_code()
+        if self.status < 200:
+            self._bounded = False  # the head of the answer is still to come
+            return
+        self._headed = True
+        if self.status != 200:  # its end may be far
+            raise ValueError(f"status {self.status}")
 
     def on_body(self, data: bytes) -> None:
         if len(self.body) + len(data) > MAX_BODY:
@@ -161,6 +172,7 @@
         self._address, self._known, self._changed = address, known, changed
         self._back_off, self._draw = BACK_OFF_S[0], draw
         self._silences = 0  # one behind another, since the last answer
+        self._sure = False  # the last call brought a good answer
         self._wake = asyncio.Event()  # ends a pause
         self.retune(gateways)
         self._numbers: dict[str, int] = {}  # the module's ids are numbers
@@ -235,24 +247,24 @@
     async def _watch(self) -> None:
         """Call, take in the answer, call again at once; connect anew after a fault."""
         while not self._stopped:
-            address, silent = self._address, False
+            address, fault = self._address, None
             self._wake.clear()
             try:
                 await self._converse(address)
-            except Exception as fault:  # whatever discovery sends, the watch goes on
-                silent = isinstance(fault, TimeoutError)
-                if address == self._address:
-                    self._complain(f"{type(fault).__name__}: {fault}")
-                    self.post(self._unanswered)
+            except Exception as caught:  # whatever discovery sends, the watch goes on
+                fault = caught
             finally:
                 if self._stream is not None:
                     self._stream.close()
                     self._stream = None
-            if address != self._address:
-                self._back_off, self._silences = BACK_OFF_S[0], 0  # nothing is known against the new address
-            elif not self._stopped:
+            if address != self._address:  # nothing is known of the new address, nor against it
+                self._back_off, self._silences, self._sure = BACK_OFF_S[0], 0, False
+            elif fault is not None and not self._stopped:
+                self._sure = False
+                self._complain(f"{type(fault).__name__}: {fault}")
+                self.post(self._unanswered)
                 with contextlib.suppress(TimeoutError):
-                    async with asyncio.timeout(self.pause(silent)):
+                    async with asyncio.timeout(self.pause(isinstance(fault, TimeoutError))):
                         await self._wake.wait()
 
     def pause(self, silent: bool = False) -> float:
@@ -273,13 +285,14 @@
         self._back_off, self._silences = max(self._back_off / 2, BACK_OFF_S[0]), 0
 
     async def _converse(self, address: tuple[str, int]) -> None:
-        """One connection's calls; returns where the other side wants a new one."""
+        """One connection's calls; returns where a good answer was the last one on it."""
         stream, coming_up = dial(address, MAX_BODY + MAX_HEAD)
         self._stream = stream
         async with asyncio.timeout(SILENT_S):
             await coming_up
-        keep, wait_ms = True, PROBE_MS if self._silences <= SHORT_TRIES else WAIT_MS
+        keep = True
         while keep and not self._stopped and address == self._address:
+            wait_ms = WAIT_MS if self._sure or self._silences > SHORT_TRIES else PROBE_MS
             # After a lost connection the watch goes on from the version held: what was missed comes first.
             query = "" if self._version is None else f"?after={self._version}&wait_ms={wait_ms}"
             call = f"GET {PATH}{query} HTTP/1.1\r\nHost: {address[0]}:{address[1]}\r\n\r\n"
@@ -287,14 +300,12 @@
             patience = WHOLE_S if self._version is None else wait_ms / 1000.0 + SILENT_S
             async with asyncio.timeout(patience):  # wait_for would lose an end that crosses a fault
                 response = await self._response(stream)
-            wait_ms = WAIT_MS
             keep = response.keep
-            if address != self._address:
+            if self._stopped or address != self._address:
                 return  # it has moved meanwhile: a list from there must not undo what the new one told
-            if response.status != 200:
-                raise ValueError(f"status {response.status}")
             roster = read_roster(ujson.loads(bytes(response.body)))
             self.answered()
+            self._sure = True
             if self._complaint:
                 self._complaint = ""
                 log.info("discovery answers again, version %d", roster.version)
@@ -307,9 +318,14 @@
 
     @staticmethod
     async def _response(stream: IOStream) -> Response:
-        response = Response()
-        while not response.feed(await stream.read_bytes(READ_CHUNK, partial=True)):
-            pass
+        response, whole = Response(), False
+        while not whole:
+            try:
+                whole = response.feed(await stream.read_bytes(READ_CHUNK, partial=True))
+            except StreamClosedError as end:
+                if end.real_error is not None or not response.ended():  # a reset is no end
+                    raise
+                break
         return response
 
     def _complain(self, text: str) -> None:
--- /dev/null
+++ b/tests/test_discovery_answers.py
@@ -0,0 +1,158 @@
+"""Where an answer of discovery ends, and what comes of one that is cut short, on real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import pytest
+
+from badgeryoke.host_group import Response
+from tests.standins import Standin, entry
+from tests.test_discovery_clock import Watching, play
+
+LIST = json.dumps({"version": 7, "full": True, "servers": [entry("a", 1)]}).encode()
+LATER = json.dumps({"version": 8, "full": True, "servers": [entry("b", 2)]}).encode()
+OK = b"HTTP/1.1 200 OK\r\n"
+Act = Callable[[asyncio.StreamWriter], Awaitable[bool]]  # False: the connection ends
+
+
+class Script(Standin):
+    """Answers the calls with one act after another, and stays silent when there is none left."""
+
+    def __init__(self, *acts: Act) -> None:
+        super().__init__()
+        self.acts = list(acts)
+        self.calls: list[tuple[float, int, str]] = []  # when, on which connection, for what
+        self.answered: list[float] = []
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        loop, number, more = asyncio.get_running_loop(), self.connections, True
+        while more:
+            path = (await reader.readuntil(b"\r\n\r\n")).decode().split(" ")[1]
+            self.calls.append((loop.time(), number, path))
+            if not self.acts:
+                await reader.read()
+                return
+            more = await self.acts.pop(0)(writer)
+            self.answered.append(loop.time())
+
+
+def says(*pieces: bytes, apart: float | None = None, keep: bool = False) -> Act:
+    """These pieces, then an orderly close."""
+    async def act(writer: asyncio.StreamWriter) -> bool:
+        for piece in pieces:
+            writer.write(piece)
+            if apart is not None:
+                await asyncio.sleep(apart)
+        return keep
+
+    return act
+
+
+def resets(data: bytes, after: float) -> Act:
+    async def act(writer: asyncio.StreamWriter) -> bool:
+        writer.write(data)
+        await asyncio.sleep(after)
+        made = writer.get_extra_info("socket")
+        made.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        writer.transport.abort()
+        return False
+
+    return act
+
+
+def well(body: bytes, keep: bool = True) -> Act:
+    close = b"" if keep else b"Connection: close\r\n"
+    return says(OK + close + b"Content-Length: %d\r\n\r\n" % len(body) + body, keep=keep)
+
+
+def chunked(body: bytes) -> bytes:
+    return OK + b"Transfer-Encoding: chunked\r\n\r\n%x\r\n%b\r\n0\r\n\r\n" % (len(body), body)
+
+
+INDENTED = json.dumps(json.loads(LIST), indent=2).encode() + b"\n"
+ENDED = {
+    "nothing said": says(OK + b"\r\n" + LIST),
+    "close": says(OK + b"Connection: close\r\n\r\n", LIST, apart=0.1),
+    "1.0": says(b"HTTP/1.0 200 OK\r\n\r\n" + LIST),
+    "1.0, keep-alive": says(b"HTTP/1.0 200 OK\r\nConnection: keep-alive\r\n\r\n" + LIST),
+    "identity": says(OK + b"Transfer-Encoding: identity\r\n\r\n" + LIST),
+    "1xx first": says(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nContent-Length: 3\r\n\r\n",
+                      OK + b"\r\n" + LIST, apart=0.1),
+    "indented, byte by byte": says(*(bytes([b]) for b in OK + b"\r\n" + INDENTED), apart=0.001),
+    "length, close": well(LIST, keep=False),
+    "length, 1.0": says(b"HTTP/1.0 200 OK\r\nContent-Length: %d\r\n\r\n" % len(LIST) + LIST),
+}
+
+
+@pytest.mark.parametrize("how", ENDED)
+def test_an_answer_that_ends_with_its_connection_is_a_good_one(how: str) -> None:
+    """One without a length was refused: such a day never got a list.  Behind any other good one that closed stood a
+    pause, and a short call for each: ten a second without end."""
+    async def test() -> None:
+        async with Script(*[ENDED[how]] * 5) as agent:
+            with Watching(agent.port, 1, of=200) as watching:
+                group = watching.groups[0]
+                group._back_off = group.longest  # as a crowd has left it
+                await asyncio.sleep(3.0)
+                assert len(watching.heard[0]) == len(agent.answered) == 5 and not group._complaint
+                assert [call[1] for call in agent.calls] == [1, 2, 3, 4, 5, 6]
+                assert all("after=7&wait_ms=3000" in call[2] for call in agent.calls[1:])
+                gaps = [call[0] - at for call, at in zip(agent.calls[1:], agent.answered, strict=True)]
+                assert max(gaps) < 0.1  # a watch goes on where the next call comes within 0.2 s
+
+    play(test)
+
+
+HALF = LATER[:len(LATER) // 2]
+LENGTH = b"Content-Length: %d\r\n\r\n" % len(LATER)
+CUT = {
+    "reset at once": resets(OK + b"\r\n" + LATER, 0.0), "reset": resets(OK + b"\r\n" + LATER, 0.1),
+    "reset in the body": resets(OK + b"\r\n" + HALF, 0.1), "reset in the head": resets(OK, 0.0),
+    "closed in the body": says(OK + b"\r\n" + HALF), "closed in the head": says(OK + b"X: 1\r\n"),
+    "closed at once": says(), "closed behind the head": says(OK + b"\r\n"),
+    "closed behind 1xx": says(b"HTTP/1.1 103 Early Hints\r\n\r\n"),
+    "length, closed in the body": says(OK + LENGTH + LATER[:-1]),
+    "length, reset in the body": resets(OK + LENGTH + LATER[:-1], 0.0),
+    "longer, closed": says(OK + b"Content-Length: %d\r\n\r\n" % (len(LATER) + 1) + LATER),
+    "chunked, closed in the body": says(chunked(LATER)[:-len(HALF)]),
+    "chunked, closed before the last chunk": says(chunked(LATER)[:-5]),
+    "chunked, reset before the last chunk": resets(chunked(LATER)[:-5], 0.1),
+    "204": says(b"HTTP/1.1 204 No Content\r\n\r\n", keep=True),
+    "304": says(b"HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n", keep=True),
+    "503 without a length": says(b"HTTP/1.1 503 No room\r\n\r\n" + LATER, apart=9.0),
+}
+
+
+@pytest.mark.parametrize("how", CUT)
+def test_a_cut_answer_tells_nothing_and_is_a_lost_connection(how: str) -> None:
+    async def test() -> None:
+        async with Script(well(LIST), CUT[how]) as agent:
+            with Watching(agent.port, 1) as watching:
+                await asyncio.sleep(0.5)
+                assert [len(members.servers) for _, members in watching.heard[0]] == [1]
+                assert watching.groups[0]._version == 7 and watching.groups[0]._silences == 0
+                assert [(call[1], call[2]) for call in agent.calls[1:]] == [
+                    (1, "/api/targets?after=7&wait_ms=3000"), (2, "/api/targets?after=7&wait_ms=100")]
+
+    play(test)
+
+
+@pytest.mark.parametrize(("first", "again"), [
+    (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n" * 100),
+    (OK + b"Transfer-Encoding: chunked\r\n\r\n0\r\n", b"X: 1\r\n" * 500),
+    (OK + b"Transfer-Encoding: chunked\r\n\r\n1", b";x=1" * 500),
+])
+def test_what_an_endless_answer_holds_beside_its_body_is_bounded(first: bytes, again: bytes) -> None:
+    """Behind a 1xx or a last chunk nothing was counted.  A read that finds more does not wait, so neither did any
+    time limit end one."""
+    response: Any = Response()
+    with pytest.raises(ValueError, match="too large"):
+        response.feed(first)
+        for _ in range(10_000_000 // len(again)):
+            response.feed(again)
