Keep every sum of a pause, a dial and an answer of discovery under 5 s of the clock's 6

Seen: after a refused call the back-off reached 3.6 s times 1.5 (LONGEST_S, HostGroup.pause); a dial of up to 1.0 s and an answer of up to 1.1 s, or 2.0 s with no list held, came on top: 8.4 s at 200 gateways, where a change counts after 6. Silence on a first call was found after 2.0 s. One limit went over a call and its answer: one that began late in the wait was given up in the middle, however steadily it came. A call that could not be written had no limit.

Change: LONGEST_S is 2.0. The first answer on a new connection has to be whole 1.9 s after the dialling began, any other 1.8 s after its call's wait; nothing for 1.0 s after the wait, or between two pieces then, is silence, also with no list held. An early head or a 1xx ends no wait. The worst sums: refused, then given up at the latest moment, 4.95 s; a body that trickles on an open watch 4.85 s; silent twice 5.2 s; silent at a new address, 1.15 s a try. An agent that needs longer for its first byte is asked with more patience after three silent calls, as before.

A narrower spread by chance was ruled out: a tenth fewer calls, and gateways that stay together for longer. What gives way is the pace: without end, 503 is asked about by 200 gateways 100 times a second (at most 123) in place of 56, and each of more than 40 gateways adds its half a call a second.

Tests: the worst sum from the constants at 1, 3, 40, 200 and 10,000 gateways with chance at its worst, and the same on sockets (before: 200 and 10,000 fail); slow bodies (3 of 5 failed), silence at ten places (6 failed), a call that cannot be written (failed). The agent that is always slow passed before and guards the short tries.

--- a/badgeryoke/host_group.py
+++ b/badgeryoke/host_group.py
@@ -30,15 +30,18 @@
 # How long a watch may wait: short, so that one that has died in silence is found out 2 s before the clock runs out.
 WAIT_MS = 3000
 PROBE_MS = 100  # the same on a new connection: its first answer tells that somebody is there
-SILENT_S = 1.0  # no answer for this long after that: the connection is given up
-WHOLE_S = 2.0  # for an answer to the first call, which need not wait for anything
+WHOLE_MS = 1000  # the same for the whole list, which need not wait for anything: an agent may be slow, ...
+SILENT_S = 1.0  # ... but nothing for this long after that, or while dialling, is silence: the connection is given up
+WHOLE_S = 1.8  # and this long after it, on a new connection from the dialling on, the answer has to be whole
 # The agent answers at once unless discovery is down: only after this is the list known at the start gone by.
 # What the agent holds counts as told, and of a fleet's fresh gateways some would send to one that drains.
 KNOWN_AFTER_S = 0.5
 BACK_OFF_S = (0.02, 0.15)  # before the next connection: at first, and at most where gateways are few
 # Discovery is one service for all gateways: what all of them ask again in a second must not grow with them.
 EACH_S = 0.05  # of the longest back-off, for each gateway of the fleet
-LONGEST_S = 3.6  # and no longer: times a half to one and a half, it stays under the 6 s of the clock
+# And no longer.  A refused call is behind it: 1.5 times this, then one try that is given up at its latest moment
+# (PROBE_MS + WHOLE_S), then the next (AGAIN_S), come to 4.95 s of the clock's 6.
+LONGEST_S = 2.0
 # After silence the next call is made nearly at once: what an agent has counts as told from that moment, an outage's
 # end included, so no gateway may be without an open call for the 0.25 s that a drain leaves.  Two short calls find out
 # whether only that watch was broken; from then on each is held as long as any, so 200 gateways make 50 calls a second
@@ -286,21 +289,22 @@
 
     async def _converse(self, address: tuple[str, int]) -> None:
         """One connection's calls; returns where a good answer was the last one on it."""
+        begun = self._loop.time()
         stream, coming_up = dial(address, MAX_BODY + MAX_HEAD)
         self._stream = stream
         async with asyncio.timeout(SILENT_S):
             await coming_up
         keep = True
         while keep and not self._stopped and address == self._address:
+            # Silences behind one another: there may be nobody, or one who is slow.
             wait_ms = WAIT_MS if self._sure or self._silences > SHORT_TRIES else PROBE_MS
+            if self._version is None:
+                wait_ms = min(wait_ms, WHOLE_MS)
             # After a lost connection the watch goes on from the version held: what was missed comes first.
             query = "" if self._version is None else f"?after={self._version}&wait_ms={wait_ms}"
             call = f"GET {PATH}{query} HTTP/1.1\r\nHost: {address[0]}:{address[1]}\r\n\r\n"
-            await stream.write(call.encode())
-            patience = WHOLE_S if self._version is None else wait_ms / 1000.0 + SILENT_S
-            async with asyncio.timeout(patience):  # wait_for would lose an end that crosses a fault
-                response = await self._response(stream)
-            keep = response.keep
+            response = await self._ask(stream, call.encode(), begun, wait_ms / 1000.0)
+            keep, begun = response.keep, self._loop.time()
             if self._stopped or address != self._address:
                 return  # it has moved meanwhile: a list from there must not undo what the new one told
             roster = read_roster(ujson.loads(bytes(response.body)))
@@ -316,16 +320,23 @@
             else:
                 self._take(roster, Scope.CHANGES)
 
-    @staticmethod
-    async def _response(stream: IOStream) -> Response:
+    async def _ask(self, stream: IOStream, call: bytes, begun: float, wait_s: float) -> Response:
+        """One call, which may wait so long for its answer.
+
+        A head that comes early, or a 1xx, says nothing of when the rest will come; after the wait each piece has
+        SILENT_S to come in, as long as the whole is in time."""
+        due, last = self._loop.time() + wait_s + SILENT_S, begun + wait_s + WHOLE_S
         response, whole = Response(), False
-        while not whole:
-            try:
-                whole = response.feed(await stream.read_bytes(READ_CHUNK, partial=True))
-            except StreamClosedError as end:
-                if end.real_error is not None or not response.ended():  # a reset is no end
-                    raise
-                break
+        async with asyncio.timeout_at(min(due, last)) as limit:  # wait_for would lose an end that crosses a fault
+            await stream.write(call)
+            while not whole:
+                try:
+                    whole = response.feed(await stream.read_bytes(READ_CHUNK, partial=True))
+                except StreamClosedError as end:
+                    if end.real_error is not None or not response.ended():  # a reset is no end
+                        raise
+                    break
+                limit.reschedule(min(max(due, self._loop.time() + SILENT_S), last))
         return response
 
     def _complain(self, text: str) -> None:
--- a/tests/test_discovery_answers.py
+++ b/tests/test_discovery_answers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import socket
 import struct
@@ -11,13 +12,17 @@
 
 import pytest
 
+from badgeryoke import actor, host_group
 from badgeryoke.host_group import Response
-from tests.standins import Standin, entry
+from tests.standins import HOST, Standin, entry
 from tests.test_discovery_clock import Watching, play
 
 LIST = json.dumps({"version": 7, "full": True, "servers": [entry("a", 1)]}).encode()
 LATER = json.dumps({"version": 8, "full": True, "servers": [entry("b", 2)]}).encode()
+HALF = LATER[:len(LATER) // 2]
 OK = b"HTTP/1.1 200 OK\r\n"
+LENGTH = b"Content-Length: %d\r\n\r\n" % len(LATER)
+HEAD, HINTS = OK + LENGTH, b"HTTP/1.1 103 Early Hints\r\n\r\n"
 Act = Callable[[asyncio.StreamWriter], Awaitable[bool]]  # False: the connection ends
 
 
@@ -109,8 +114,114 @@
     play(test)
 
 
-HALF = LATER[:len(LATER) // 2]
-LENGTH = b"Content-Length: %d\r\n\r\n" % len(LATER)
+def slowly(body: bytes, seconds: float, after: float = 0.0, early: bytes = b"") -> Act:
+    """The body in pieces of that many seconds together, from then on."""
+    async def act(writer: asyncio.StreamWriter) -> bool:
+        writer.write(early)
+        await asyncio.sleep(after)
+        writer.write(b"" if early.startswith(OK) else OK + b"Content-Length: %d\r\n\r\n" % len(body))
+        for n in range(10):
+            await asyncio.sleep(seconds / 10)
+            writer.write(body[n * len(body) // 10:(n + 1) * len(body) // 10])
+        return True
+
+    return act
+
+
+@pytest.mark.parametrize("then", [
+    slowly(LATER, 1.5), slowly(LATER, 1.5, 2.9), slowly(LATER, 1.5, 0.0, HINTS), slowly(LATER, 1.5, 2.9, HINTS),
+    slowly(LATER, 1.5, 2.9, HEAD)])
+def test_a_slow_answer_is_taken_while_it_goes_on(then: Act) -> None:
+    """One that began when its call had waited was given up in the middle, however steadily it came."""
+    async def test() -> None:
+        async with Script(slowly(LIST, 1.5), then) as agent:
+            with Watching(agent.port, 1) as watching:
+                await asyncio.sleep(6.0)
+                assert [m.servers[0].id for _, m in watching.heard[0]] == [1, 2] and agent.connections == 1
+
+    play(test)
+
+
+def test_an_agent_that_is_always_slow_is_heard_at_last() -> None:
+    """Short calls alone would ask it for ever."""
+    async def test() -> None:
+        async with Script(*[slowly(LIST, 0.1, 1.5)] * 9) as agent:
+            with Watching(agent.port, 1, draw=lambda: 1.0) as watching:
+                await asyncio.sleep(6.0)
+                assert watching.heard[0]
+
+    play(test)
+
+
+@pytest.mark.parametrize(("nth", "acts", "found"), [
+    (0, [], 1.1), (0, [says(HINTS, apart=99.0)], 1.1), (0, [slowly(LIST, 99.0)], 1.1), (0, [slowly(LIST, 9.0)], 1.9),
+    (1, [well(LIST)], 4.0), (1, [well(LIST, keep=False)], 4.0), (1, [well(LIST), says(HINTS, apart=99.0)], 4.0),
+    (1, [well(LIST), says(HEAD + HALF, apart=99.0)], 4.0), (1, [well(LIST), slowly(LATER, 99.0, 3.5)], 4.5),
+    (1, [well(LIST), slowly(LATER, 9.0)], 4.8),
+])
+def test_silence_is_found_out_in_time_wherever_it_begins(nth: int, acts: list[Act], found: float) -> None:
+    async def test() -> None:
+        async with Script(*acts) as agent:
+            with Watching(agent.port, 1, draw=lambda: 1.0):
+                await asyncio.sleep(6.0)
+                asked, again = (call[0] for call in agent.calls[nth:nth + 2])
+                assert found <= again - asked < found + 0.1
+
+    play(test)
+
+
+@pytest.mark.parametrize("gateways", [1, 3, 40, 200, 10_000])
+def test_a_change_is_heard_in_time_where_all_goes_as_slowly_as_it_may(gateways: int) -> None:
+    """503 until a moment ago, the longest pause, a try that is given up at its latest: 9.5 s at 200 gateways."""
+    refused = says(b"HTTP/1.1 503 No room\r\nContent-Length: 0\r\n\r\n", keep=True)
+
+    async def test() -> None:
+        async with Script(well(LIST), *[refused] * 20, slowly(LATER, 9.0), well(LATER)) as agent:
+            with Watching(agent.port, 1, of=gateways, draw=lambda: 1.0) as watching:
+                await asyncio.sleep(100.0)
+                told, members = watching.heard[0][1]
+                assert members.servers[0].id == 2 and told - agent.answered[20] <= 5.0
+
+    play(test)
+
+
+def test_silence_while_dialling_is_found_out_in_time(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A first packet with no answer, as a machine leaves it that has vanished."""
+    async def test() -> None:
+        loop, dialled = asyncio.get_running_loop(), []
+
+        def dial(*given: Any) -> Any:
+            dialled.append(loop.time())
+            return actor.dial(*given)
+
+        monkeypatch.setattr(host_group, "dial", dial)
+        with socket.create_server((HOST, 0), backlog=0) as deaf, contextlib.ExitStack() as full:
+            for _ in range(3):  # nobody accepts: the queue is full
+                made = full.enter_context(socket.socket())
+                made.setblocking(False)
+                made.connect_ex(deaf.getsockname())
+            await asyncio.sleep(0.05)
+            with Watching(deaf.getsockname()[1], 1, draw=lambda: 1.0):
+                await asyncio.sleep(4.3)
+        assert [round(at - dialled[0], 2) for at in dialled] == [0.0, 1.05, 2.1, 3.15, 4.2]
+
+    play(test)
+
+
+def test_a_call_that_cannot_be_written_is_given_up() -> None:
+    """It was waited for with no limit: an agent that answers and reads nothing fills what lies between."""
+    async def test() -> None:
+        async with Script(well(LIST), slowly(LATER, 0.1)) as agent:
+            with Watching(agent.port, 1) as watching:
+                await asyncio.sleep(0.05)
+                stream: Any = watching.groups[0]._stream
+                stream.write = lambda _: asyncio.get_running_loop().create_future()
+                await asyncio.sleep(5.0)
+                assert [call[1] for call in agent.calls] == [1, 1, 2]
+
+    play(test)
+
+
 CUT = {
     "reset at once": resets(OK + b"\r\n" + LATER, 0.0), "reset": resets(OK + b"\r\n" + LATER, 0.1),
     "reset in the body": resets(OK + b"\r\n" + HALF, 0.1), "reset in the head": resets(OK, 0.0),
