Be ready 5 s after the start without a list, and go by a known one only once discovery had its time

Seen: with no list in the configuration, or an empty one, nothing made a process ready while discovery was silent or refused (HostGroup._unanswered asks for known.hosts; `ready` is set by _take alone). With an old one, it was gone by 0.5 s after the start however the first call stood, and at once after any failed try: an agent late by 0.6 s, a body under way, one reset or one 503, and a fresh process sent by the old list to a server that its agent knew to drain. What an agent holds counts as told from a process' first moment.

Change: the known list is gone by behind a try that has failed 0.2 s or more after the start. The timer is gone. With no list at all the process is ready 5 s after the start: queries get -BUSY at once, nothing is sent anywhere, and a first list is taken as before. Not sooner, since a front that does not admit a gateway leaves its customers to those that have a list; not later, since a process has to be ready within 10 s and its start may take half.

Ruled out: to be ready at once (a whole fleet at its start would refuse everything until its lists are there), and to go by the known list at once where a dial is refused: a process out of descriptors fails so too, with an agent that knows.

--- a/badgeryoke/host_group.py
+++ b/badgeryoke/host_group.py
@@ -33,9 +33,12 @@
 WHOLE_MS = 1000  # the same for the whole list, which need not wait for anything: an agent may be slow, ...
 SILENT_S = 1.0  # ... but nothing for this long after that, or while dialling, is silence: the connection is given up
 WHOLE_S = 1.8  # and this long after it, on a new connection from the dialling on, the answer has to be whole
-# The agent answers at once unless discovery is down: only after this is the list known at the start gone by.
-# What the agent holds counts as told, and of a fleet's fresh gateways some would send to one that drains.
-KNOWN_AFTER_S = 0.5
+# What the agent holds counts as told from a process' first moment, so the list known at the start is gone by only
+# behind a try that failed after this time: one that was silent to its end, or the last of several that were lost.
+KNOWN_AFTER_S = 0.2
+# With no list at all a process turns clients away at once, where one that is not ready leaves them to other
+# gateways.  But it has to be ready within 10 s of its start, and the start itself may take half of that.
+READY_AFTER_S = 5.0
 BACK_OFF_S = (0.02, 0.15)  # before the next connection: at first, and at most where gateways are few
 # Discovery is one service for all gateways: what all of them ask again in a second must not grow with them.
 EACH_S = 0.05  # of the longest back-off, for each gateway of the fleet
@@ -185,11 +188,13 @@
         self._stream: IOStream | None = None
         self._complaint = ""
         self._stopped = False
-        self.ready = False  # some list is known
+        self._began = 0.0
+        self.ready = False  # clients may come: some list is known, or none has come for long
 
     def start(self) -> None:
         """Ask discovery, and go by the list known at the start where it does not answer."""
-        self._loop.call_later(KNOWN_AFTER_S, self.deliver, self._unanswered)
+        self._began = self._loop.time()
+        self._loop.call_later(READY_AFTER_S, self.deliver, self._listless)
         self._task = asyncio.ensure_future(self._watch())
 
     def _unanswered(self) -> None:
@@ -198,6 +203,11 @@
             log.warning("discovery has not answered: going by the list known at the start")
             self._take(self._known, Scope.WARM_COPY)
 
+    def _listless(self) -> None:
+        if not self.ready:
+            log.warning("no list of servers after %.0f s: clients are turned away until one comes", READY_AFTER_S)
+            self.ready = True
+
     @property
     def heard(self) -> bool:
         """Whether discovery itself has told a list."""
@@ -265,7 +275,8 @@
             elif fault is not None and not self._stopped:
                 self._sure = False
                 self._complain(f"{type(fault).__name__}: {fault}")
-                self.post(self._unanswered)
+                if self._loop.time() - self._began >= KNOWN_AFTER_S:
+                    self.post(self._unanswered)
                 with contextlib.suppress(TimeoutError):
                     async with asyncio.timeout(self.pause(isinstance(fault, TimeoutError))):
                         await self._wake.wait()
--- a/tests/test_discovery_answers.py
+++ b/tests/test_discovery_answers.py
@@ -13,9 +13,11 @@
 import pytest
 
 from badgeryoke import actor, host_group
-from badgeryoke.host_group import Response
-from tests.standins import HOST, Standin, entry
+from badgeryoke.host_group import Response, Roster, read_roster
+from martenstep.interface import Scope
+from tests.standins import HOST, Standin, config, entry, gateway, query, resp
 from tests.test_discovery_clock import Watching, play
+from tests.test_front import ask
 
 LIST = json.dumps({"version": 7, "full": True, "servers": [entry("a", 1)]}).encode()
 LATER = json.dumps({"version": 8, "full": True, "servers": [entry("b", 2)]}).encode()
@@ -267,3 +269,51 @@
         response.feed(first)
         for _ in range(10_000_000 // len(again)):
             response.feed(again)
+
+
+REFUSED = says(b"HTTP/1.1 503 No room\r\nContent-Length: 0\r\n\r\n", keep=True)
+OLD = Roster(3, True, read_roster(json.loads(LIST)).hosts)
+DRAINS = json.dumps({"version": 9, "full": True, "servers": [entry("a", 1, "leaving")]}).encode()
+
+
+@pytest.mark.parametrize("act", [
+    None, slowly(LIST, 99.0), slowly(LIST, 9.0), REFUSED, says(), resets(b"", 0.0), slowly(LIST, 1.0, 1.5)])
+@pytest.mark.parametrize("known", [None, Roster(3, True, ()), OLD])
+@pytest.mark.parametrize("gateways", [1, 200])
+def test_a_process_is_ready_in_time_whatever_discovery_does(act: Act | None, known: Roster | None,
+                                                            gateways: int) -> None:
+    """With no list known, or an empty one, nothing made it ready while discovery was silent or refused."""
+    async def test() -> None:
+        async with Script(*[act] * 200 if act is not None else []) as agent:
+            with Watching(agent.port, 1, of=gateways, known=known, draw=lambda: 1.0) as watching:
+                await asyncio.sleep(2.0 if known is OLD else 5.1)
+                assert watching.groups[0].ready
+
+    play(test)
+
+
+def test_a_process_without_a_list_turns_clients_away_at_once() -> None:
+    """They are told, and nothing is sent to a server of which nobody told."""
+    async def test() -> None:
+        async with Script() as agent, gateway(config(agent.port, None)) as app:
+            assert await ask(app, resp("PING")) == ["-ERR not ready"]
+            await asyncio.sleep(5.1)
+            ping, answer = await ask(app, resp("PING"), query(plan="free"))
+            assert ping == "+PONG" and str(answer).startswith("-BUSY")
+
+    play(test)
+
+
+@pytest.mark.parametrize("acts", [
+    [slowly(DRAINS, 0.1, 0.6)], [slowly(DRAINS, 1.7)], [resets(b"", 0.0), resets(b"", 0.0), well(DRAINS)],
+    [REFUSED, well(DRAINS)], [says(DRAINS), says(), well(DRAINS)]])
+def test_what_an_agent_holds_goes_before_the_list_known_at_the_start(acts: list[Act]) -> None:
+    """Half a second, or one lost connection, and a fresh process sent by its old list to a server that drains."""
+    async def test() -> None:
+        async with Script(*acts) as agent:
+            with Watching(agent.port, 1, of=200, known=OLD) as watching:
+                await asyncio.sleep(2.0)
+                [(_, members)] = watching.heard[0]
+                assert members.scope is Scope.FULL and watching.groups[0].ready
+
+    play(test)
--- a/tests/test_discovery_clock.py
+++ b/tests/test_discovery_clock.py
@@ -15,7 +15,7 @@
 
 from badgeryoke import host_group
 from badgeryoke.actor import Turns
-from badgeryoke.host_group import HostGroup
+from badgeryoke.host_group import HostGroup, Roster
 from martenstep.interface import Members, Scope, State
 from tests.standins import HOST, Standin, entry
 from tests.test_fleet import most_in_a_window
@@ -102,14 +102,15 @@
 class Watching:
     """The host groups of so many gateways, and when each heard what."""
 
-    def __init__(self, port: int, gateways: int, of: int = 0, draw: Callable[[], float] | None = None) -> None:
+    def __init__(self, port: int, gateways: int, of: int = 0, known: Roster | None = None,
+                 draw: Callable[[], float] | None = None) -> None:
         loop = asyncio.get_running_loop()
         self.heard: list[list[tuple[float, Members]]] = [[] for _ in range(gateways)]
 
         def told(own: list[tuple[float, Members]]) -> Callable[[Members, object], None]:
             return lambda members, _: own.append((loop.time(), members))
 
-        self.groups = [HostGroup((HOST, port), None, Turns(loop), told(own), of or gateways,
+        self.groups = [HostGroup((HOST, port), known, Turns(loop), told(own), of or gateways,
                                  draw or random.Random(n).random) for n, own in enumerate(self.heard)]
         for group in self.groups:
             group.start()
