Let the Diameter file name the classes of a check and a debit

Seen: a CHECK_BALANCE became the first class of the settings that is safe, a DIRECT_DEBITING the first with a key. No name stands in the code, but where a deployment has two safe or two keyed classes the order in the settings decided. [classes] in deploy/diameter.toml names them now; without it all is as before. A class that is not there, or has the wrong effect, is a fault of the file by its key; one that goes with new settings is answered as no such service.

Seen too: 'badgeryoke check deploy/diameter.toml' turned down every file with a plan, since it is looked at without settings. There names are not held against any.

--- a/badgeryoke/config.py
+++ b/badgeryoke/config.py
@@ -16,7 +16,7 @@
 
 from badgeryoke.host_group import Roster, read_roster, split_address
 from badgeryoke.operators import NAME, Operators, OperatorsError, read_operators
-from martenstep.interface import Settings
+from martenstep.interface import Effect, Settings
 from martenstep.settings import Reader, settings_from, unknown
 
 log = logging.getLogger("badgeryoke.config")
@@ -73,6 +73,8 @@
     deadline_ms: float  # how long a client waits for a CCA (its Tx timer); 0: the class's deadline
     watchdog_s: float
     answers_kept_s: float
+    check_class: str | None = None  # of a CHECK_BALANCE; None: the first of the settings that is safe to repeat
+    debit_class: str | None = None  # of a DIRECT_DEBITING; None: the first that takes a key
 
 
 @dataclass(frozen=True, slots=True)
@@ -223,7 +225,8 @@
 
 
 def read_diameter(path: Path, settings: Settings) -> DiameterConfig | None:
-    """The deploy/ file; None where there is none or where it does not turn the front on."""
+    """The deploy/ file; None where there is none or where it does not turn the front on.  Its names are held against
+    the settings, but where these have no classes and no plans: then the file is looked at by itself."""
     try:
         raw = tomllib.loads(path.read_text(encoding="utf-8"))
     except FileNotFoundError:
@@ -253,9 +256,17 @@
     known = {plan.name for plan in settings.plans}
     plans: dict[int, str] = {}
     for key, plan in _table(f"{name}: plans", raw.get("plans", {})).items():
-        if not key.isdigit() or plan not in known:
+        if not key.isdigit() or not isinstance(plan, str) or (known and plan not in known):
             raise ConfigError(f"{name}: plans.{key}: expected Service-Identifier = a plan of the settings")
         plans[int(key)] = plan
+    chosen: dict[str, str | None] = {"check": None, "debit": None}
+    for key, value in _table(f"{name}: classes", raw.get("classes", {})).items():
+        effect = Effect.SAFE if key == "check" else Effect.KEYED
+        if key not in chosen or not isinstance(value, str) or (settings.classes and all(
+                (cls.name, cls.effect) != (value, effect) for cls in settings.classes)):
+            raise ConfigError(f"{name}: classes.{key}: expected check = a class that is safe to repeat, or debit = one "
+                              f"that takes a key")
+        chosen[key] = value
     lists: dict[str, frozenset[str]] = {}
     for key in ("server_kinds", "clients"):
         value = raw.get(key, [])
@@ -268,4 +279,5 @@
         deadline_ms=_number(name, raw, "deadline_ms", 0, 0),
         watchdog_s=_number(name, raw, "watchdog_s", 30, 6),
         answers_kept_s=_number(name, raw, "answers_kept_s", 240, 1),
+        check_class=chosen["check"], debit_class=chosen["debit"],
     )
--- a/badgeryoke/diameter/client_link.py
+++ b/badgeryoke/diameter/client_link.py
@@ -153,8 +153,9 @@
     def retune(self, settings: Settings) -> None:
         """The classes and the fleet's size, by new settings."""
         self._gateways = settings.gateways
-        self._safe = next((c for c in settings.classes if c.effect is Effect.SAFE), None)
-        self._keyed = next((c for c in settings.classes if c.effect is Effect.KEYED), None)
+        self._safe, self._keyed = (
+            next((c for c in settings.classes if c.effect is effect and name in (None, c.name)), None)
+            for effect, name in ((Effect.SAFE, self._config.check_class), (Effect.KEYED, self._config.debit_class)))
 
     def ask(self, request: Request, repeated: bool, give: Callable[[Answer | Fault], None]) -> None:
         """Give the answer of a request, asked now, running already, or known; or what is wrong with it."""
--- a/tests/test_diameter.py
+++ b/tests/test_diameter.py
@@ -49,6 +49,7 @@
 )
 from tests.test_core import FakeLoop
 from tests.test_front import ask, play
+from tests.test_service import until
 
 Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 
@@ -94,6 +95,31 @@
     with_gateway(test)
 
 
+@pytest.mark.parametrize(("check", "debit", "sent"), [
+    (None, None, ["read", "write"]), ("list", "pay", ["list", "pay"]), ("gone", "gone", [])])
+def test_the_classes_of_an_event_are_those_that_the_file_names(check: str | None, debit: str | None,
+                                                               sent: list[str]) -> None:
+    async def test() -> None:
+        async with Backend() as node, Discovery(entry("a", node.port)) as list_:
+            classes = tuple(replace(cls, name=name) for cls, name in (
+                (SAFE, "read"), (SAFE, "list"), (KEYED, "write"), (KEYED, "pay")))
+            made = config(list_.port, None, roster(entry("a", node.port)), True, classes=classes)
+            assert made.diameter is not None
+            app = App(replace(made, diameter=replace(made.diameter, check_class=check, debit_class=debit)),
+                      lambda: NOW_MS)
+            app.start()
+            await until(lambda: app._hosts.ready)
+            peer = await open_peer(app)
+            got = await call(peer, ccr(7), ccr(8, action=2))
+            assert [one.result for one in got] == ([2001, 2001] if sent else [5031, 5031])
+            assert sorted(c[3].decode().split(",")[0][2:] for c in node.commands) == sent
+            peer[1].close()
+            app.end()
+            await app.done.wait()
+
+    play(test)
+
+
 FAULTS = [
     pytest.param(ccr(9, leave_out=436), 5005, id="Requested-Action is missing"),
     pytest.param(ccr(9, leave_out=263), 5005, id="Session-Id is missing"),
