Take settings that name no zone where a site has none

The protocol speaks of sites without zones; a zone is needed only where zones are listed. One more line in tests/test_settings.py, which fails without this.

--- a/martenstep/settings.py
+++ b/martenstep/settings.py
@@ -164,7 +164,7 @@
     return api.Settings(
         me=top.whole("me", 0, gateways - 1),
         gateways=gateways,
-        zone=top.text("zone"),
+        zone=top.text("zone") if "zone" in raw or raw.get("zones") else "",  # a site may have none
         tick_ms=top.above_0("tick_ms", MOST_MS),
         classes=tuple(map(_class, top.named("classes"))),
         plans=tuple(map(_plan, top.named("contracts"))),
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -147,6 +147,7 @@
     assert (made.report_names, made.settings.has_counter, made.settings.zone) == ((), False, "")
     assert made.settings.counter_timeout_ms == 0.0
     assert read(tmp_path, at(at(other, "zones", []), "discovery", "automatic")).settings.must_subscribe is False
+    assert read(tmp_path, at(at(other, "zones", []), "zone")).settings.zone == ""  # a site without zones
 
 
 def test_a_key_that_no_page_names_is_told_and_no_fault(tmp_path: Path, caplog: pytest.LogCaptureFixture) -> None:
