Reckon a cold server's turns by all that pass it over, where few servers are warm

Cause: Fleet.pick reckons what a warm server is usually sent from the width, the servers that it keeps to, but a cold one without a turn takes none of that width: it is passed over. Where fewer are warm than it keeps to, each gateway meets the whole list, and the parts of all gateways add up to (servers / width) times the budget.

Change: the part of the list that is met counts, with at least WARM_LEAST of the servers taken as warm. Where that part or more are warm nothing changes. Fully cold fleets take less until they warm up, as those of few gateways did.

--- a/martenstep/decide.py
+++ b/martenstep/decide.py
@@ -66,6 +66,7 @@
 SILENT_OF_POOL = 0.75  # of the latency over all servers is expected at least: few answers tell of each
 SILENT_OF_AIM = 0.35  # and no less than this part of the aim, so that one long request is not silence
 COLD_SAFETY = 0.3  # part of a cold server's budget that is used: its size and the others' use are guesses
+WARM_LEAST = 0.3  # of the servers count as warm at least: what few warm ones are sent is no guide to their size
 COLD_LEAST = 1.0  # sends of all gateways per fall window to a cold server while no usual load is known
 # Requests
 POOL_GAIN = 0.2  # weight of one answer in the latency of all servers together
@@ -194,8 +195,7 @@
         return min(max((self.mine + unused) / self.plan.rate, LEAST_PART / self.spread), 1.0)
 
     def in_use(self, now: float) -> bool:
-        """Whether the entry is kept.  One with a report to come is: dropped, its report would take a new
-        entry's call, and lose who waits for it."""
+        """Whether it is kept.  With a report to come it is: that would take a new entry's call, and lose who waits."""
         idle = now - max(self.quota.tat, self.used)
         busy = self.asked or self.open or self.waiting or self.pending or self.flushing
         return bool(busy) or idle <= STALE_TOLERANCES * max(self.quota.tolerance, self.period_ms)
@@ -501,8 +501,7 @@
             return self._mean / max(peer.info.size, 0.1) / self._warm_part(now, peer), 0.0
         queue = max(peer.latency - peer.base, 0.0)
         queue *= math.exp((peer.timed - now) / max(QUEUE_TAU * self._aim, QUEUE_TIMES * queue))
-        # What is out there tells before it is answered.
-        # What any later one overtook is long or lost, and tells nothing of the queue.
+        # What is out there tells before it is answered; what a later one overtook is long or lost, and does not.
         oldest = min((sent for sent in peer.out.values() if sent >= peer.newest), default=now)
         return peer.base, max(queue, now - oldest - peer.base)
 
@@ -549,7 +548,10 @@
         # look sound to many are too few, which chance and turns even out.  One that sends much meets all.
         # What it has few answers of, it chooses by chance, with odds as 1/cost where it knows nothing.
         width, blur = self._width(now), self._blur(now)
-        usual = self.send_rate(now) / max(1.0, min(width, sum(self._warm_part(now, p) for p in self._up)))
+        parts = [self._warm_part(now, p) for p in self._up]
+        # Cold ones without a turn are passed over: with few warm ones it meets the whole list, and so do all gateways.
+        met = min(width / max(parts.count(1.0), 1), 1.0)
+        usual = self.send_rate(now) / max(1.0, min(width, sum(parts)), met * WARM_LEAST * len(parts))
         for peer in self._up:
             if (allowed and not allowed(peer.info)) or not self._may_warm(now, peer, usual):
                 continue
@@ -573,8 +575,7 @@
         return None if best is None else (best[1].info, best[2])
 
     def trial(self, now: float, server: int) -> bool:
-        """Whether a queue that would be too long is to be tried again: it is only held to be there, and where
-        all servers are held to be jammed, nothing else would ever tell that they are not."""
+        """Whether a queue held to be too long is tried again: where all are so held, nothing else would tell."""
         return now - self._peers[server].sent >= TRIAL * self._aim
 
     def sent(self, now: float, server: int, key: tuple[str, int]) -> None:
@@ -605,8 +606,7 @@
             gain = BASE_GAIN_DOWN if rtt < peer.base else BASE_GAIN_UP
             peer.base += max(gain, 1 / (peer.answers + BASE_PRIOR)) * (rtt - peer.base)
             peer.answers += 1
-            # A guess gives way to the first measure: mixed in bit by bit, it would keep a server out that is
-            # asked too seldom to bring so many answers.
+            # A guess gives way to the first measure: mixed in, it would keep a server out that is seldom asked.
             peer.latency += (1.0 if peer.guessed else EWMA_GAIN) * (rtt - peer.latency)
             peer.guessed = False
             peer.timed = now
