Take a server whose start lies ahead of the own clock as just started, whatever the settings

Seen: a random play of the module over settings with every mix of effects, groups and windows ended in a division by zero. Settings that leave warm_within_ms out (0 then) or name cold_from 0, and a list that tells a start at or ahead of this gateway's clock: each choice of a server raised, and every query was given up until the clock had passed it.

At fault: Fleet._warm_part, which compared a negative age with a time of 0 and then divided by it, and gave a part of 0, by which Fleet._expect divides. Ruled out: the other settings of the ramp at 0 (fall multiple, fall window).

Change: an age is 0 at least, and a part 0.01 at least.

--- a/martenstep/decide.py
+++ b/martenstep/decide.py
@@ -514,10 +514,10 @@
     def _warm_part(self, now: float, peer: Peer) -> float:
         """The least part of its capacity that a server has by now."""
         s = self._settings
-        age = now - peer.info.started_ms
+        age = max(now - peer.info.started_ms, 0.0)  # by another clock, its start may lie ahead
         if peer.info.started_ms <= 0 or age >= s.warm_within_ms:
             return 1.0
-        return s.cold_from + (1 - s.cold_from) * max(age, 0.0) / s.warm_within_ms
+        return max(s.cold_from + (1 - s.cold_from) * age / s.warm_within_ms, 0.01)  # latencies are divided by it
 
     def _may_warm(self, now: float, peer: Peer, usual: float) -> bool:
         """Whether a server is warm, or has its turn, from what a warm one is usually sent.
@@ -692,8 +692,7 @@
             case Left():
                 self._drop(event.id)
             case Started(id=rid) if (job := self._jobs.get(rid)) and job.server:
-                # The answer has begun: what it takes from here on tells nothing of the server's queue, and
-                # takes none of what the servers bear.
+                # The answer has begun: its rest tells nothing of the server's queue, nor takes of what servers bear.
                 self._fleet._out -= 1
                 self._fleet._peers[job.server.id].out.pop((rid, len(job.attempts) - 1))
             case Members():
@@ -890,7 +889,6 @@
             return []
         server = job.attempts[-1]
         more = self._retries >= 1 and len(job.attempts) < job.most
-        # Only where another attempt can follow: else the work done is wasted for nothing.  Looked at once:
-        # what is given up later only adds to the load.
+        # Only where another attempt can follow, else work is wasted; at once, for later it only adds to the load.
         silent = self._fleet.silent(now, server, (rid, attempt), patience)
         return [Cancel(rid, attempt)] if silent and more else []
--- /dev/null
+++ b/tests/test_random_settings.py
@@ -0,0 +1,178 @@
+"""Rule 2 and changed settings under random events: a checker that sees events and actions alone."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from dataclasses import dataclass, field
+
+import pytest
+
+from martenstep import interface as api
+from martenstep.decide import Gateway
+from tests.helpers import START
+
+SERVERS = [api.Server(n, "ab"[n % 2], "std", n % 3, api.State.UP) for n in range(1, 10)]
+BAD = [v for v in api.Verdict if v not in (api.Verdict.OK, api.Verdict.TIMEOUT, api.Verdict.CANCELLED)]
+
+
+def drawn(draw: random.Random) -> api.Settings:
+    """Some customer's settings: every effect, group and window may come, in any mix."""
+    classes = []
+    for n in range(draw.randrange(1, 4)):
+        deadline = draw.choice([80.0, 600.0, 3000.0])
+        window = draw.choice([0.0, 1.0, 0.2 * deadline, 0.9 * deadline, 5 * deadline])
+        classes.append(api.RequestClass(f"c{n}", draw.choice([0.2, 0.7, 1.0]) * deadline, deadline,
+                                        draw.choice(list(api.Effect)), draw.choice(list(api.Group)), window))
+    plans = []
+    for n in range(3):
+        rate = draw.choice([0.0, 0.5, 20.0])
+        ceiling = draw.choice([0.0, 2.0]) * rate
+        plans.append(api.Plan(f"p{n}", rate, draw.choice([1.0, 2.0]) * max(rate, 1.0), draw.choice([0, 3]),
+                              ceiling_rate=ceiling, ceiling_burst=2.5 * ceiling, over_cost=draw.random()))
+    return api.Settings(
+        me=draw.randrange(3), gateways=draw.choice([1, 3, 200]), zone="a", tick_ms=2.0, classes=tuple(classes),
+        plans=tuple(plans), has_counter=draw.random() < 0.8, counter_timeout_ms=draw.choice([5.0, 50.0]),
+        max_units=4.0, max_attempts=draw.randrange(2, 6), can_cancel=draw.random() < 0.8, answer_slack_ms=8.0,
+        cold_from=draw.choice([0.0, 0.2, 1.0]), warm_within_ms=draw.choice([0.0, 9000.0]),
+        fall_multiple=draw.choice([0.0, 1.0, 3.0]), fall_window_ms=draw.choice([0.0, 1500.0]))
+
+
+@dataclass
+class Tried:
+    """One request, and where its attempts went: when, and how they ended."""
+
+    cls: api.RequestClass
+    most: int
+    until: float
+    attempts: list[tuple[api.Server, float, api.Verdict | None]] = field(default_factory=list)
+    over: bool = False
+
+    def risks(self) -> list[tuple[api.Server, float]]:
+        """Attempts that may have run."""
+        return [(to, at) for to, at, how in self.attempts if how is None or not how.never_ran]
+
+
+class Play:
+    """A gateway, and the world around it."""
+
+    def __init__(self, seed: int, retunes: bool) -> None:
+        self.draw, self.now = random.Random(seed), START
+        self.settings = drawn(self.draw)
+        self.made = Gateway(self.settings, seed)
+        self.due: list[tuple[float, int, api.Event | str]] = []
+        self.seen: dict[str, Tried] = {}
+        self.count = self.repeats = self.refused_late = 0
+        self.listed = {one.id: one for one in SERVERS}
+        self.made.handle(START, api.Members(api.Scope.FULL, tuple(SERVERS)))
+        for n in range(700):
+            self.later(START + self.draw.uniform(0, 12_000), f"r{n}")
+        for kind in ["retune"] * (12 * retunes) + ["list"] * 40:
+            self.later(START + self.draw.uniform(0, 12_000), kind)
+
+    def later(self, at: float, what: api.Event | str) -> None:
+        """Something is due."""
+        self.count += 1
+        heapq.heappush(self.due, (at, self.count, what))
+
+    def run(self) -> None:
+        """All that is due, and what follows from it."""
+        while self.due:
+            self.now, _, what = heapq.heappop(self.due)
+            if what == "retune":
+                self.settings = drawn(self.draw)
+                self.made.retune(self.settings)
+            elif what == "list":
+                self.change()
+            elif isinstance(what, str):
+                self.arrive(what)
+            else:
+                self.give(what)
+        assert all(one.over for one in self.seen.values())
+
+    def change(self) -> None:
+        """A server drains, comes back, or has started: by its own clock, which may go ahead."""
+        old = self.draw.choice(SERVERS)
+        state = self.draw.choice([api.State.UP, api.State.UP, api.State.DRAINING])
+        start = self.now + self.draw.choice([-3000.0, 0.0, 500.0])
+        self.listed[old.id] = api.Server(old.id, old.zone, old.kind, old.cell, state, 1.0, start)
+        self.give(api.Members(api.Scope.CHANGES, (self.listed[old.id],)))
+
+    def arrive(self, rid: str) -> None:
+        """A client's try; some leave before their answer."""
+        cls, draw = self.draw.choice(self.settings.classes), self.draw
+        left = cls.deadline_ms * draw.uniform(0.3, 1.0)
+        self.seen[rid] = Tried(cls, self.settings.max_attempts, self.now + left)
+        if draw.random() < 0.1:
+            self.later(self.now + left * draw.random(), api.Left(rid))
+        self.give(api.Request(rid, cls.name, draw.choice(self.settings.plans).name, draw.randrange(6), left,
+                              draw.choice([1.0, 4.0]), draw.choice([1, 3, 200])))
+
+    def give(self, event: api.Event) -> None:
+        """One event, and what the gateway does about it."""
+        if isinstance(event, api.Left):
+            self.seen[event.id].over = True
+        if isinstance(event, api.Outcome):
+            tried = self.seen[event.id]
+            to, at, how = tried.attempts[event.attempt]
+            if how is not None:
+                return  # cancelled before
+            tried.attempts[event.attempt] = to, at, event.verdict
+            tried.over |= event.ended
+        for action in self.made.handle(self.now, event):
+            self.act(action)
+
+    def act(self, action: api.Action) -> None:
+        """Check an action and carry it out."""
+        draw = self.draw
+        match action:
+            case api.Send(id=rid, server=to, timeout_ms=left):
+                tried, server = self.seen[rid], self.listed[to]
+                self.may_send(tried, server, left)
+                self.repeats += bool(tried.attempts)
+                tried.attempts.append((server, self.now, None))
+                verdict = draw.choice([api.Verdict.OK, api.Verdict.TIMEOUT, *BAD])
+                took = left if verdict is api.Verdict.TIMEOUT else left * draw.choice([0.0, 0.01, 0.1, draw.random()])
+                done = verdict is api.Verdict.OK
+                self.later(self.now + took, api.Outcome(
+                    rid, len(tried.attempts) - 1, to, verdict, took, done, draw.choice([0.0, 1.0, 9.0])))
+            case api.Cancel(id=rid, attempt=attempt):
+                where, since, how = self.seen[rid].attempts[attempt]
+                assert how is None
+                self.later(self.now, api.Outcome(
+                    rid, attempt, where.id, api.Verdict.CANCELLED, self.now - since, False))
+            case api.Refuse(id=rid) | api.Fail(id=rid):
+                tried = self.seen[rid]
+                assert not tried.over and self.now <= tried.until + 1e-6
+                assert all(how is not None for _, _, how in tried.attempts)
+                if isinstance(action, api.Refuse) and tried.risks():
+                    self.refused_late += 1
+                    assert tried.cls.effect is api.Effect.SAFE or (
+                        tried.cls.effect is api.Effect.KEYED and tried.cls.group is api.Group.ALL)
+                tried.over = True
+            case api.Wake(at_ms=at, token=token):
+                self.later(max(at, self.now), api.Due(token))
+            case api.Count(name=name):
+                verdict = draw.choice([api.Verdict.OK] * 3 + [api.Verdict.TIMEOUT, api.Verdict.FULL])
+                took = draw.uniform(0, 5)  # the shortest time-out of a call
+                self.later(self.now + took, api.Total(name, verdict, took, draw.choice([0.0, 3.0, 60.0])))
+
+    def may_send(self, tried: Tried, server: api.Server, left: float) -> None:
+        """The rule's words on a further send, and what holds for any."""
+        assert not tried.over and len(tried.attempts) < tried.most and self.now + left <= tried.until + 1e-6
+        assert server.state is api.State.UP
+        assert all(how is not None for _, _, how in tried.attempts)  # never two out
+        if tried.cls.effect is api.Effect.SAFE or not (risks := tried.risks()):
+            return
+        assert tried.cls.effect is api.Effect.KEYED
+        for first, at in risks:
+            assert self.now < at + tried.cls.window_ms
+            assert tried.cls.group is not api.Group.ZONE or server.zone == first.zone
+            assert tried.cls.group is not api.Group.CELL or server.cell == first.cell
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_rule_2_holds_for_any_mix_of_settings(seed: int) -> None:
+    play = Play(seed, False)
+    play.run()
+    assert play.repeats
