Let new settings change the retries a gateway may save up

Seen in the source: Gateway.retune left `_saved` as it was at the start, 1 + 40 / gateways. A fleet that grows from 3 gateways to 200 by SIGHUP kept 14.3 each, 2,867 over all in place of 240.

Test: a gateway retuned from 3 to 200 makes as many retries as one started for 200; more before.

--- a/martenstep/decide.py
+++ b/martenstep/decide.py
@@ -709,6 +709,7 @@
         self._quota._plans = {plan.name: plan for plan in settings.plans}
         self._quota._conform = {name: self._quota._conform.get(name, PRIOR) for name in self._quota._plans}
         self._fleet._aim = min((c.aim_ms for c in settings.classes), default=SECOND_MS)
+        self._saved = 1 + RETRY_SAVED / settings.gateways
 
     def avoided(self, now: float) -> int:
         """How many of the listed servers are sent nothing, or only what looks whether they are back."""
--- a/tests/test_random_settings.py
+++ b/tests/test_random_settings.py
@@ -11,7 +11,7 @@
 
 from martenstep import interface as api
 from martenstep.decide import Gateway
-from tests.helpers import START, admit, answer, gateway, only, outcome, request
+from tests.helpers import SAFE, START, admit, answer, gateway, only, outcome, request
 
 SERVERS = [api.Server(n, "ab"[n % 2], "std", n % 3, api.State.UP) for n in range(1, 10)]
 BAD = [v for v in api.Verdict if v not in (api.Verdict.OK, api.Verdict.TIMEOUT, api.Verdict.CANCELLED)]
@@ -207,3 +207,24 @@
             sent += 1
             made.handle(now, outcome(send, api.Verdict.OK, rtt=1.0))
     assert sent <= plan.burst + 1
+
+
+def test_a_fleet_that_grows_saves_up_no_more_retries() -> None:
+    """200 gateways that were 3 at their start kept what 3 may save: 2,867 retries in place of 240."""
+    def retries(gateways: int, then: int) -> int:
+        made = gateway(gateways=gateways, plans=(api.Plan("plain"),), classes=(SAFE,))
+        made.retune(replace(made._settings, gateways=then))
+        got = 0
+        for n in range(60):
+            [send] = only(made.handle(START + 50 * n, request(f"r{n}")), api.Send)
+            made.handle(START + 50 * n + 20, outcome(send, api.Verdict.OK, rtt=20.0))
+        for n in range(40):
+            now = START + 3000 + 50 * n
+            attempt, sends = 0, only(made.handle(now, request(f"x{n}")), api.Send)
+            while sends:
+                sends = only(made.handle(now, outcome(sends[0], api.Verdict.CONNECT_FAILED, attempt)), api.Send)
+                attempt += 1
+            got += max(attempt - 1, 0)
+        return got
+
+    assert retries(3, 200) == retries(200, 200) < retries(3, 3)
