Refuse a query that new settings overtook between its check and the module

Seen: a class told as unsafe became safe on a reload that stood in the core's mail before the query, or came while it waited its contract's turn. The query was checked and encoded by the old class, the module took it under the new one, and after a reset a second attempt went out: two sends of a request that was unsafe when it was taken.

Checked: what the module has keeps the class it began with (Job.cls), and so do the core's window and its word on a client's repeat; only the way from submit() to _ask() crossed a reload. At fault: Core._take, which looked only whether a class of that name was there, and Core._turn, which looked at nothing.

A query keeps the class it was checked by, and one whose class differs when the module would get it is refused: nothing has run. Equal settings read again refuse nobody.

Test: the overtaken query in the mail and behind a contract's turn; before, two executions each, now none and one refusal. A second test holds what was right already: an answer and a cancel, a deadline or a leaving client in one turn make one answer and one outcome of the same verdict.

--- a/badgeryoke/core.py
+++ b/badgeryoke/core.py
@@ -102,6 +102,7 @@
         "answer",
         "attempts",
         "cause",
+        "cls",
         "deadline_ms",
         "execution",
         "first_ms",
@@ -118,12 +119,16 @@
     cause: str  # badgeryoke.guarantee sets it with `reserved`
 
     def __init__(self, rid: str, query: Query, answer: Callable[[Answer], None], deadline_ms: float,
-                 harmless: bool, window_ms: float = math.inf) -> None:
+                 cls: api.RequestClass) -> None:
         self.id, self.query, self.deadline_ms = rid, query, deadline_ms
-        self.window_ms = window_ms  # how long after an attempt that may have run another may come to a server
+        self.cls = cls  # as it was when the query was checked; the module gets it under no other
+        # How long after an attempt that may have run another may come to a server.
+        self.window_ms = cls.window_ms if cls.effect is api.Effect.KEYED else math.inf
+        # A client's own repeat does no harm even if it may have run.
+        self.harmless = (cls.effect is api.Effect.SAFE
+                         or (cls.effect is api.Effect.KEYED and cls.group is api.Group.ALL))
         self.risk_ms = math.inf  # when the first such attempt was started
         self.answer: Callable[[Answer], None] | None = answer  # None: the final answer is given
-        self.harmless = harmless  # a client's own repeat does no harm even if it may have run
         self.may_have_run = False
         self.attempts = 0
         self.execution: Execution | None = None
@@ -221,10 +226,7 @@
         guard = min(GUARD_MS, GUARD_PART * query.remaining_ms)
         cls = self._classes[query.cls]
         query.safe = cls.effect is api.Effect.SAFE  # kept with it, whatever new settings make of the class
-        harmless = (cls.effect is api.Effect.SAFE
-                    or (cls.effect is api.Effect.KEYED and cls.group is api.Group.ALL))
-        window = cls.window_ms if cls.effect is api.Effect.KEYED else math.inf
-        run = _Running(rid, query, answer, self._clock() + query.remaining_ms - guard, harmless, window)
+        run = _Running(rid, query, answer, self._clock() + query.remaining_ms - guard, cls)
         self.post(self._take, run)
         return lambda: self.post(self._left, run)
 
@@ -277,8 +279,8 @@
         if query.id in self._ids:
             # Servers know a request by its id: they would take a second one for a copy of the first.
             answer = Failed("id of a request that is open")
-        elif query.cls not in self._classes or query.plan not in self._plans:
-            answer = Refused(FALLBACK_RETRY_MS)  # new settings came between its check and this
+        elif self._outdated(run):
+            answer = Refused(FALLBACK_RETRY_MS)
         else:
             drawn = self._guarantee is not None and self._guarantee.draw(run)
             if left <= 0 or len(self._running) >= MOST_QUERIES or self._bodies + body > self._most_bodies:
@@ -303,9 +305,18 @@
 
     def _turn(self, run: _Running) -> None:
         """A query has waited its turn; its client may have left, or it has its answer."""
-        if run.answer is not None:
+        if run.answer is not None and self._outdated(run):
+            run.cause = GATEWAY
+            self._finish(run, Refused(FALLBACK_RETRY_MS))
+        elif run.answer is not None:
             self._ask(run, run.deadline_ms - self._clock())
 
+    def _outdated(self, run: _Running) -> bool:
+        """Whether new settings came between a query's check and the module: the module would decide on its repeats
+        by another rule than it was checked and is encoded by.  Nothing has run, so a refusal does no harm."""
+        cls = self._classes.get(run.query.cls)
+        return (cls is not run.cls and cls != run.cls) or run.query.plan not in self._plans
+
     def _ask(self, run: _Running, left: float) -> None:
         """Bring a query to the module."""
         query = run.query
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -4,6 +4,7 @@
 
 import heapq
 from collections.abc import Callable
+from dataclasses import replace
 from types import SimpleNamespace
 from typing import Any
 
@@ -235,6 +236,70 @@
     assert not bench.last.may_be_written(NOW_MS + 1000.0)
 
 
+@pytest.mark.parametrize("first", ["answer", "cancel", "deadline", "client leaves"])
+def test_an_answer_and_its_time_out_in_one_turn_make_one_answer_and_one_outcome(
+        first: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Whichever comes first counts, and the module hears of the same."""
+    outcomes: list[api.Outcome] = []
+    real = Gateway.handle
+
+    def heard(self: Gateway, now: float, got: api.Event) -> list[api.Action]:
+        if isinstance(got, api.Outcome):
+            outcomes.append(got)
+        return real(self, now, got)
+
+    monkeypatch.setattr(Gateway, "handle", heard)
+    bench = Bench()
+    left = bench.ask("once")
+    one = bench.last
+    one.written()
+    steps: dict[str, Callable[[], object]] = {
+        "answer": lambda: one.served(b"value"),
+        "cancel": lambda: bench.core.post(bench.core._act, 0.0, api.Cancel("1", 0)),
+        "deadline": lambda: bench.core.post(bench.core._overdue, bench.core._running["1"]),
+        "client leaves": left}
+    steps[first]()
+    if first != "answer":
+        bench.core.post(lambda: one.served(b"value"))
+    else:
+        for other in ("cancel", "deadline", "client leaves"):
+            steps[other]()
+    bench.loop.run(3.0)
+    verdicts = {"answer": api.Verdict.OK, "deadline": api.Verdict.TIMEOUT}
+    assert [got.verdict for got in outcomes] == [verdicts.get(first, api.Verdict.CANCELLED)]
+    assert [type(got) for got in bench.answers] == {
+        "answer": [Served], "client leaves": []}.get(first, [Failed])
+    assert not bench.core._running and len(bench.link.executions) == 1
+
+
+@pytest.mark.parametrize("waits", [False, True])
+def test_a_query_that_new_settings_overtook_is_refused_and_not_repeated_by_them(waits: bool) -> None:
+    """It was checked and written by the old rule on repeats, and repeated by the new one: a class that had become
+    safe to repeat got a second attempt of a request that was not."""
+    bench = Bench()
+    turn: list[Any] = []
+
+    def wait(run: Any, left: float) -> bool:
+        turn.append(run)
+        return True
+
+    if waits:  # for its contract's turn
+        bench.core._guarantee = SimpleNamespace(draw=lambda run: False, waits=wait)  # type: ignore[assignment]
+        bench.ask("once")
+    safe = replace(UNSAFE, effect=api.Effect.SAFE)
+    bench.core.retune(settings(has_counter=False, classes=(AIM, KEYED, safe)))
+    if waits:
+        bench.core.post(bench.core._turn, turn[0])
+        bench.loop.run()
+    else:
+        bench.ask("once")
+    for execution in bench.link.executions:
+        execution.written()
+        execution.lost("reset")
+    bench.loop.run()
+    assert not bench.link.executions and [type(answer) for answer in bench.answers] == [Refused]
+
+
 def test_the_last_word_on_a_full_core() -> None:
     bench = Bench()
     bench.core._running.update({str(-n): None for n in range(1, 10_001)})  # type: ignore[misc]
