Take no byte on a resting counter connection for the next call's answer

Seen, on real sockets: half an answer that nobody asked for lay in the parser until the next call, whose answer then could not be read: its units had been added and counted as such that may have been. A whole one that lay unread in the socket when a call was written was taken for that call's total (9 in place of 3).

At fault: CounterLink.arrived, which minded only whole values without a call, and _Connection.ended, which looked for the end alone. Ruled out: bytes while calls are out cannot be told apart, and are matched in order as before.

Whatever comes while no call is out ends the connection, as a whole answer did; what was gathered goes over the next one. Another test shows what was right already: without a descriptor calls fail at once, and the counter is tried once a second.

--- a/badgeryoke/counter.py
+++ b/badgeryoke/counter.py
@@ -73,7 +73,8 @@
         await pump(self.stream, lambda data: owner.deliver(owner.arrived, self, data))
 
     def ended(self) -> bool:
-        """Whether the counter has closed it, also where the event loop has not told of that yet.
+        """Whether the counter has closed it, also where the event loop has not told of that yet; or has written
+        what nobody asked for, which would be taken for an answer.
 
         A counter closes what was idle, and a call written into that close would count as one that may have
         been added, though it never was: its units would be told to nobody.
@@ -81,7 +82,7 @@
         if self.stream.closed():
             return True
         try:
-            return not self.stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+            return not self.stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) or not self.calls
         except BlockingIOError:
             return False
         except OSError:
@@ -270,6 +271,8 @@
                 return
         if connection.parser.fault:
             self._spoilt(connection, f"broke the protocol: {connection.parser.fault}")
+        elif not calls and not connection.parser.idle:
+            self._spoilt(connection, "began an answer that nobody asked for")
         elif connection is not self._used and not calls:
             connection.stream.close()  # the counter has moved, and this connection owes nothing more
 
--- a/tests/test_counter_faults.py
+++ b/tests/test_counter_faults.py
@@ -7,6 +7,8 @@
 from __future__ import annotations
 
 import asyncio
+import errno
+import os
 import socket
 import struct
 from collections import Counter as Tally
@@ -100,6 +102,55 @@
     play(test)
 
 
+@pytest.mark.parametrize("seen", [False, True])
+@pytest.mark.parametrize("unasked", [b"$1\r\n", b"$1\r\n9\r\n"])
+def test_what_nobody_asked_for_is_no_part_of_the_next_answer(unasked: bytes, seen: bool) -> None:
+    """Half an answer on a resting connection lay there until the next call: its units had been added, and counted as
+    such that may have been.  A whole one that was not read yet was taken for the total."""
+
+    async def test() -> None:
+        async with Counter() as counter:
+            calls = Calls(counter.port)
+            await calls.up()
+            os.write(counter.writers[0].get_extra_info("socket").fileno(), unasked)
+            if seen:
+                await until(lambda: counter.connections == 2 and calls.link._used)
+            calls.link.add(7, 3.0, 1000.0, calls.got.put_nowait)
+            calls.link._loop.run()
+            total = await calls.got.get()
+            assert (total.verdict, total.total, counter.totals["7"]) == (Verdict.OK, 3.0, 3.0)
+            assert counter.connections == 2 and empty(calls.link)
+            calls.link.close()
+
+    play(test)
+
+
+def test_without_a_descriptor_calls_fail_at_once_and_the_counter_is_tried_once_a_second(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    waits: list[float] = []
+
+    def none(address: tuple[str, int]) -> socket.socket:
+        raise OSError(errno.EMFILE, "too many open files")
+
+    async def test() -> None:
+        async with Counter() as counter:
+            calls = Calls(counter.port)
+            await calls.up()
+            real = calls.link._retry
+            calls.link._retry = waits.append  # type: ignore[assignment, method-assign]
+            with monkeypatch.context() as full:
+                full.setattr(actor, "new_socket", none)
+                await close(counter, True)
+                await until(lambda: waits)
+                assert (await calls.call(7)).verdict is Verdict.CONNECT_FAILED
+                assert waits == [counter_module.BACK_OFF_S[1]] and empty(calls.link) and not calls.link._all
+            real(0.0)
+            await calls.up()
+            calls.link.close()
+
+    play(test)
+
+
 class Stuck(Standin):
     """Reads one call, answers it, and reads no further."""
 
