Let nothing of a request go out behind an early answer, a reset or its window

Seen, on real sockets with little room: - A server answered -BUSY to a request that was out in part. The attempt ended as never run, its connection was used on, and the rest of the request went out on it: it ran there while another attempt was out elsewhere. - A keyed repeat stuck half way; its last byte, which begins it, went out after the window whenever the server read on. - A reset between the look at a connection and the write: the write failed, Tornado drops the buffer, and a stream that is not writing counted as one that has written. The attempt ended as one that may have run.

Ruled out: a reset in the middle is told as never run and one after the last byte as a reset, also where both fall in one round of the event loop, since the write's future is told before the close; a closed stream sends nothing more.

At fault: RespServerLink.arrived (took any value as the answer), _write (asked writing() instead of the write's future; looked at the window before the first byte alone).

An answer to what is not out whole ends the connection, and with it the attempt, which could not connect; a write that is stuck at the window's end is cut off.

--- a/badgeryoke/resp/server_link.py
+++ b/badgeryoke/resp/server_link.py
@@ -274,10 +274,18 @@
         data = encode(query, bool(query.safe), execution.deadline_ms - now)
         execution.begun = True
         future = connection.stream.write(data)
-        if not connection.stream.writing():
-            execution.written()
-        else:
+        if not future.done():
             future.add_done_callback(lambda done: None if done.exception() else execution.written())
+            if execution.write_by_ms < execution.deadline_ms:
+                self._loop.call_later((execution.write_by_ms - now) / 1000.0, self.deliver, self._stuck,
+                                      connection, execution)
+        elif future.exception() is None:  # else its connection had ended, and nothing is out whole
+            execution.written()
+
+    def _stuck(self, connection: _Connection, execution: Execution) -> None:
+        """The last byte must not go out from now on: it is what begins the attempt at the backend."""
+        if connection.execution is execution and connection.stream.writing():
+            connection.stream.close()
 
     def arrived(self, connection: _Connection, data: bytes) -> None:
         """Bytes of an answer.  The first whole value is the attempt's; with anything behind it, and where the
@@ -285,14 +293,17 @@
         if connection not in self._all:
             return
         execution, parser = connection.execution, connection.parser
+        if execution is None or connection.stream.writing():
+            # What is not out whole has no answer.  Used on, the connection would take the rest of it to a backend
+            # that has turned it away, and another attempt may be out then.
+            self._complain("answered what nobody asked")
+            connection.stream.close()
+            return
         values = parser.feed(data)
         connection.heard_at = self._clock()
         if parser.long:
             self._pass_on(connection, execution)
-        if execution is None:
-            self._complain("answered what nobody asked")
-            connection.stream.close()
-        elif values:
+        if values:
             connection.execution = execution.on_abandon = connection.relay = None
             connection.begun = False
             parser.forget_long()
@@ -312,12 +323,10 @@
             connection.begun = True
             self._loop.call_later(BEGUN_MS / 1000.0, self.deliver, self._unended, connection, execution)
 
-    def _pass_on(self, connection: _Connection, execution: Execution | None) -> None:
+    def _pass_on(self, connection: _Connection, execution: Execution) -> None:
         """What has come of a long value."""
         parser = connection.parser
         pieces, parser.pieces = parser.pieces, []
-        if execution is None:
-            return
         if connection.relay is None:
             if not execution.query.streams:
                 parser.fault = parser.fault or "length out of bounds"  # nobody there can take it in pieces
--- /dev/null
+++ b/tests/test_repeats.py
@@ -0,0 +1,218 @@
+"""When an attempt may be sent again: its connection ends, its window does, or its answer comes, at the worst moment.
+
+The servers are plain sockets, read and written by the test itself, so that each order happens every time.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import struct
+from collections.abc import AsyncIterator
+from typing import Any
+
+import pytest
+
+from badgeryoke import actor
+from badgeryoke.actor import Turns, new_socket
+from badgeryoke.execution import End, Execution, Query
+from badgeryoke.resp import server_link
+from badgeryoke.resp.server_link import RespServerLink
+from martenstep.interface import Verdict
+from tests.standins import HOST, NOW_MS
+from tests.test_front import play
+from tests.test_service import until
+
+LINGER_0 = struct.pack("ii", 1, 0)
+GOOD = b"*1\r\n$4\r\ngood\r\n"
+LONG = b"x" * 60_000
+
+
+class Node:
+    """A server of one link: what it accepts, reads and writes is done by hand."""
+
+    def __init__(self) -> None:
+        self.listener = socket.create_server((HOST, 0))
+        self.listener.setblocking(False)
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
+        self.now = NOW_MS
+        self.ends: list[tuple[str, Verdict, bytes]] = []
+        self.loop = Turns(asyncio.get_running_loop())
+        self.link = RespServerLink((HOST, self.listener.getsockname()[1]), self.loop, lambda: self.now, report_names=(),
+                                   connect_ms=5000.0, idle_ms=60_000.0, most=8)
+        self.taken: list[socket.socket] = []
+
+    def start(self, rid: str, body: bytes | None = None, write_by_ms: float = float("inf")) -> Execution:
+        asked = Query(rid, "once", "plain", 7, 60_000.0, 1.0, 2, safe=False, body=body)
+        one = Execution(asked, 0, 1, self.now, self.now + 60_000.0, self._ended, write_by_ms=write_by_ms)
+        self.link.start(one)
+        self.loop.run()
+        return one
+
+    def _ended(self, execution: Execution, end: End) -> None:
+        self.ends.append((execution.query.id, end.verdict, end.value))
+
+    async def accept(self) -> socket.socket:
+        made, _ = await asyncio.get_running_loop().sock_accept(self.listener)
+        made.setblocking(False)
+        self.taken.append(made)
+        return made
+
+    async def accepts_none(self) -> bool:
+        """Whether no connection came, also after some rounds of the event loop."""
+        for _ in range(20):
+            await asyncio.sleep(0)
+        try:
+            self.taken.append(self.listener.accept()[0])
+        except BlockingIOError:
+            return True
+        return False
+
+    async def idle(self) -> socket.socket:
+        """A connection that has rested."""
+        self.start("first")
+        made = await self.accept()
+        await read(made, b"first")
+        made.send(GOOD)
+        await until(lambda: self.link._idle)
+        self.link._idle[0].answered_at = 0.0
+        self.ends.clear()
+        return made
+
+    async def stuck(self, **more: Any) -> tuple[Execution, socket.socket]:
+        """An attempt that is out in part."""
+        one = self.start("long", LONG, **more)
+        made = await self.accept()
+        await until(lambda: one.begun)
+        assert next(iter(self.link._all)).stream.writing()
+        return one, made
+
+
+@contextlib.asynccontextmanager
+async def node() -> AsyncIterator[Node]:
+    made = Node()
+    try:
+        yield made
+    finally:
+        for one in (made.listener, *made.taken):
+            one.close()
+        for connection in list(made.link._all):
+            connection.stream.close()
+
+
+@pytest.fixture
+def small(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Little room in the sockets: a long request sticks half way."""
+    def make(address: tuple[str, int]) -> socket.socket:
+        made = new_socket(address)
+        made.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2048)
+        return made
+
+    monkeypatch.setattr(actor, "new_socket", make)
+
+
+async def read(made: socket.socket, until_: bytes) -> bytes:
+    """What comes on a connection, up to some bytes or its end."""
+    got = b""
+    while until_ not in got:
+        try:
+            piece = made.recv(65_536)
+        except BlockingIOError:
+            await asyncio.sleep(0)
+            continue
+        except ConnectionError:
+            break
+        if not piece:
+            break
+        got += piece
+    return got
+
+
+def reset(made: socket.socket) -> None:
+    made.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_0)
+    made.close()
+
+
+# The write of the last byte ---------------------------------------------------------------------------
+
+
+def test_a_reset_before_the_first_byte_is_written_proves_that_it_never_ran(monkeypatch: pytest.MonkeyPatch) -> None:
+    """It came between the look at the connection and the write, which failed, and counted as written whole: an
+    unsafe request failed that could have been sent elsewhere."""
+
+    async def test() -> None:
+        async with node() as at:
+            made = await at.idle()
+            real = server_link.encode
+
+            def crossed(*args: Any) -> bytes:
+                reset(made)
+                return real(*args)
+
+            monkeypatch.setattr(server_link, "encode", crossed)
+            at.start("r1")
+            await until(lambda: at.ends)
+            assert at.ends == [("r1", Verdict.CONNECT_FAILED, b"")]
+
+    play(test)
+
+
+@pytest.mark.usefixtures("small")
+def test_a_reset_in_the_middle_proves_that_it_never_ran_and_one_after_the_last_byte_does_not() -> None:
+    async def test() -> None:
+        async with node() as at:
+            _, made = await at.stuck()
+            reset(made)
+            await until(lambda: at.ends)
+            _, made = await at.stuck()
+            await read(made, LONG[-1000:] + b"\r\n")
+            reset(made)
+            await until(lambda: len(at.ends) == 2)
+            assert [end[1] for end in at.ends] == [Verdict.CONNECT_FAILED, Verdict.RESET]
+
+    play(test)
+
+
+@pytest.mark.usefixtures("small")
+@pytest.mark.parametrize("answer", [b"-BUSY too many connections\r\n", b"-ERR failed\r\n", GOOD])
+def test_what_is_answered_before_it_is_out_whole_never_comes_whole(answer: bytes) -> None:
+    """A server that turned it away early got the rest all the same, since its connection was used on: the request
+    ran there while another attempt was out."""
+
+    async def test() -> None:
+        async with node() as at:
+            _, made = await at.stuck()
+            made.send(answer)
+            await until(lambda: at.ends)
+            at.start("next")
+            got = await read(made, LONG[-1000:] + b"\r\n")
+            assert len(got) < len(LONG) and [end[1] for end in at.ends] == [Verdict.CONNECT_FAILED]
+
+    play(test)
+
+
+@pytest.mark.usefixtures("small")
+def test_a_repeat_that_sticks_is_not_out_whole_after_its_window() -> None:
+    """The window was looked at before the first byte; the last went out whenever the server read on."""
+
+    async def test() -> None:
+        async with node() as at:
+            _, made = await at.stuck(write_by_ms=NOW_MS + 20.0)
+            await until(lambda: at.ends)
+            got = await read(made, LONG[-1000:] + b"\r\n")
+            assert len(got) < len(LONG) and [end[1] for end in at.ends] == [Verdict.CONNECT_FAILED]
+
+    play(test)
+
+
+@pytest.mark.usefixtures("small")
+def test_a_client_that_leaves_takes_the_rest_of_a_write_with_it() -> None:
+    async def test() -> None:
+        async with node() as at:
+            one, made = await at.stuck()
+            one.abandon(Verdict.CANCELLED, final=True)
+            at.loop.run()
+            assert len(await read(made, LONG[-1000:] + b"\r\n")) < len(LONG)
+
+    play(test)
