Serve the attempts that wait in one loop, and open nothing for those that have ended

Seen: an attempt whose client left between the decision and the link's turn dialled a connection for nobody, or put one at rest back as just used, beyond the time after which servers close it. Where many waited too long, each was ended inside the one before (_free, _write, _free ...): some hundreds deep the recursion broke off, the connection was lost to the pool and the rest waited for the dial's time-out.

At fault: _start and _free, which each took an attempt to a connection in their own way. Now one loop does, in the order of coming, and a connection is taken only for what may still be written.

Tests: an ended attempt opens nothing and ages no connection; 1,500 that are too late end once each. Both failed before, the second with a RecursionError in the log.

--- a/badgeryoke/resp/server_link.py
+++ b/badgeryoke/resp/server_link.py
@@ -178,13 +178,26 @@
         if self._closed:
             execution.lost("server is gone")
             return
-        if (connection := self._rested()) is not None:
-            self._write(connection, execution)
-            return
         self._waiting.append(execution)
-        execution.on_abandon = lambda: self.post(self._unmet, execution)
-        self._loop.call_later(self._connect_ms / 1000.0, self.deliver, self._unmet, execution)
-        self._open()
+        self._serve()
+        if execution in self._waiting:
+            execution.on_abandon = lambda: self.post(self._unmet, execution)
+            self._loop.call_later(self._connect_ms / 1000.0, self.deliver, self._unmet, execution)
+            self._open()
+
+    def _serve(self) -> None:
+        """Write the attempts that wait, as far as connections are at rest."""
+        while self._waiting:
+            execution = self._waiting[0]
+            if execution.may_be_written(now := self._clock()):
+                if (connection := self._rested()) is None:
+                    return
+                self._waiting.popleft()
+                self._write(connection, execution, now)
+            else:  # its client has left, or its time is up: nothing is opened for it, and no connection is used
+                self._waiting.popleft()
+                execution.on_abandon = None
+                execution.moot("too late to be sent")
 
     def _rested(self) -> _Connection | None:
         """An idle connection that is sound: the last used, but for those whose answer has only just come.
@@ -254,20 +267,10 @@
             return
         connection.used_at = self._clock()
         self._idle.append(connection)
-        while self._waiting and (sound := self._rested()) is not None:
-            execution = self._waiting.popleft()
-            if execution.ended:
-                self._idle.append(sound)
-            else:
-                self._write(sound, execution)
+        self._serve()
 
-    def _write(self, connection: _Connection, execution: Execution) -> None:
-        now = self._clock()
+    def _write(self, connection: _Connection, execution: Execution, now: float) -> None:
         connection.begun = False
-        if not execution.may_be_written(now):
-            execution.moot("too late to be sent")
-            self._free(connection)
-            return
         connection.execution = execution
         execution.on_abandon = lambda: self.post(self._abandoned, connection, execution)
         query = execution.query
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -216,3 +216,42 @@
             assert len(await read(made, LONG[-1000:] + b"\r\n")) < len(LONG)
 
     play(test)
+
+
+def test_nothing_is_opened_for_a_client_that_has_left() -> None:
+    """It left between the decision and the link's turn: a connection was dialled for nobody, or one at rest counted
+    as just used, and was kept beyond the time after which servers close it."""
+
+    async def test() -> None:
+        async with node() as at:
+            one = Execution(Query("r1", "once", "plain", 7, 60_000.0, 1.0, 2, safe=False), 0, 1, at.now,
+                            at.now + 60_000.0, at._ended)
+            at.link.start(one)
+            one.abandon(Verdict.CANCELLED, final=True)
+            at.loop.run()
+            assert not at.link._all and not at.link._waiting
+            await at.idle()
+            used_at = at.link._idle[0].used_at
+            at.now += 1000.0
+            one = Execution(one.query, 1, 1, at.now, at.now + 60_000.0, at._ended)
+            at.link.start(one)
+            one.abandon(Verdict.CANCELLED, final=True)
+            at.loop.run()
+            assert at.link._idle[0].used_at == used_at
+
+    play(test)
+
+
+def test_a_thousand_that_wait_too_long_end_once_each() -> None:
+    """Each was ended inside the one before: some hundreds deep the rest was left to wait."""
+
+    async def test() -> None:
+        async with node() as at:
+            at.link._most = 1
+            for n in range(1500):
+                at.start(f"r{n}")
+            at.now += 60_000.0
+            await until(lambda: len(at.ends) == 1500)
+            assert {end[1] for end in at.ends} == {Verdict.MOOT} and not at.link._waiting
+
+    play(test)
