Let a connection rest after every answer, not only where another is idle

Seen, on real sockets: where a server's only idle connection had just brought its answer, the next attempt was written to it at once. A second answer some milliseconds late was then taken for that attempt's: a client got a value that no server made for its request. Nothing on the wire tells the two apart.

At fault: RespServerLink._rested, which fell back to the connection idle for longest whatever its age.

Within the rest an attempt waits for the first connection that has rested; a new one is opened only for those that wait beyond the number at rest. The rest goes by the event loop's clock. Its length stays 10 ms: no longer delay has been measured.

Test: the second answer reaches nobody; failed before.

--- a/badgeryoke/resp/server_link.py
+++ b/badgeryoke/resp/server_link.py
@@ -29,7 +29,9 @@
 log = logging.getLogger("badgeryoke.resp.server")
 
 IDLE_PART = 0.5  # of the settings' idle time a connection is kept: the backend may close it sooner
-REST_MS = 10.0  # a connection is left alone after an answer where another will do: its end may follow
+# A connection is left alone for so long after an answer: its end may follow, or a second answer, which nothing on the
+# wire tells from the next attempt's.
+REST_S = 0.01
 BEGUN_MS = 50.0  # without a byte more of an answer that has begun: a length that does not fit, or no end
 STALLED_MS = 3000.0  # the same of a long value, whose length fits until it is shown that it does not
 RELAY_CHUNK = 16 * 1024  # read at once of a long value
@@ -109,6 +111,7 @@
         self.owner = owner
         self.execution: Execution | None = None
         self.used_at = 0.0
+        self.answered_at = -math.inf  # on the loop's clock, s
         self.up = False
         self.begun = False  # an answer has come in part
         self.heard_at = 0.0  # when a byte of it came last
@@ -157,6 +160,7 @@
         self._all: dict[_Connection, None] = {}
         self._opening = 0
         self._waiting: deque[Execution] = deque()
+        self._resting = False  # a timer is set for the end of a connection's rest
         self._closed = False
         self._complained = False
 
@@ -191,6 +195,7 @@
             execution = self._waiting[0]
             if execution.may_be_written(now := self._clock()):
                 if (connection := self._rested()) is None:
+                    self._await_rest()
                     return
                 self._waiting.popleft()
                 self._write(connection, execution, now)
@@ -200,40 +205,61 @@
                 execution.moot("too late to be sent")
 
     def _rested(self) -> _Connection | None:
-        """An idle connection that is sound: the last used, but for those whose answer has only just come.
+        """An idle connection that is sound and has rested: the last used of them."""
+        if self.lease is not None and not self.lease.held():
+            return None
+        before = self._loop.time() - REST_S
+        for place in reversed(range(len(self._idle))):
+            if self._idle[place].answered_at <= before:
+                connection = self._idle.pop(place)
+                if self._sound(connection):
+                    return connection
+                connection.stream.close()
+        return None
+
+    def _sound(self, connection: _Connection) -> bool:
+        """Whether a connection that nothing is out on is open, with nothing unread.
 
         What lies unread in one belongs to no attempt: a second copy of the last answer would be taken for the
         next one, and at its end the attempt would be lost though it may have run.
         """
-        if self.lease is not None and not self.lease.held():
+        unread = self._unread(connection)
+        if unread:
+            self._complain("answered what nobody asked")
+        return unread is None and not connection.stream.closed()
+
+    @staticmethod
+    def _unread(connection: _Connection) -> bytes | None:
+        """What lies unread in a connection's socket; None where nothing does, empty at its end."""
+        try:
+            return connection.stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
             return None
-        before = self._clock() - REST_MS
-        while self._idle:
-            place = next((n for n in reversed(range(len(self._idle))) if self._idle[n].used_at <= before), 0)
-            connection = self._idle.pop(place)
-            try:
-                unread = connection.stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-            except BlockingIOError:
-                if not connection.stream.closed():
-                    return connection
-                continue
-            except (OSError, AttributeError):  # broken, or closed with its end in the mailbox
-                unread = b""
-            if unread:
-                self._complain("answered what nobody asked")
-            connection.stream.close()
-        return None
+        except (OSError, AttributeError):  # broken, or closed with its end in the mailbox
+            return b""
+
+    def _await_rest(self) -> None:
+        """Attempts wait: look again when the first of the idle connections has rested."""
+        if self._idle and not self._resting and (self.lease is None or self.lease.held()):
+            self._resting = True
+            wait_s = min(one.answered_at for one in self._idle) + REST_S - self._loop.time()
+            self._loop.call_later(max(wait_s, 0.0), self.deliver, self._has_rested)
+
+    def _has_rested(self) -> None:
+        self._resting = False
+        self._serve()
 
     def _open(self) -> None:
-        """As many connections as there are attempts waiting, within the bounds."""
+        """As many connections as there are attempts waiting beyond those that will soon have rested, within the
+        bounds: a new one costs more time than the rest of an old one."""
         lease = self.lease
-        while (self._opening < min(len(self._waiting), MOST_OPENING) and len(self._all) < self._most
+        while (self._opening < min(len(self._waiting) - len(self._idle), MOST_OPENING) and len(self._all) < self._most
                and (lease is None or lease.may_open())):
             try:
                 connection = _Connection(self, self.address)
             except OSError as fault:
                 self._complain(f"no socket: {fault}")
-                self._fail_waiting(f"no socket: {fault}")
+                self._fail_waiting(f"no socket: {fault}", len(self._idle))
                 return
             self._opening += 1
             self._all[connection] = None
@@ -308,7 +334,7 @@
             self._pass_on(connection, execution)
         if values:
             connection.execution = execution.on_abandon = connection.relay = None
-            connection.begun = False
+            connection.begun, connection.answered_at = False, self._loop.time()
             parser.forget_long()
             settled = settle(execution, values[0], self._names, self._most_units)
             if settled.complaint:
@@ -394,13 +420,14 @@
             self._opening -= 1
             # Refused or never up: whoever waits is told at once, unless another connection is on its way.
             if not self._opening:
-                self._fail_waiting(str(connection.stream.error or "no connection in time"))
+                self._fail_waiting(str(connection.stream.error or "no connection in time"), len(self._idle))
                 return
         self._open()
 
-    def _fail_waiting(self, detail: str) -> None:
-        waiting, self._waiting = self._waiting, deque()
-        for execution in waiting:
+    def _fail_waiting(self, detail: str, but: int = 0) -> None:
+        """No connection will come for the attempts that wait, but for as many as there are resting ones."""
+        while len(self._waiting) > but:
+            execution = self._waiting.pop()
             execution.on_abandon = None
             execution.lost(detail)
 
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -255,3 +255,41 @@
             assert {end[1] for end in at.ends} == {Verdict.MOOT} and not at.link._waiting
 
     play(test)
+
+
+# Answers ----------------------------------------------------------------------------------------------
+
+
+def test_a_second_answer_that_comes_late_is_no_other_attempts(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Where no other connection was idle, one was used at once after its answer: a second copy that came some
+    milliseconds later was taken for the next request's."""
+    monkeypatch.setattr(server_link, "REST_S", 60.0, raising=False)
+
+    async def test() -> None:
+        async with node() as at:
+            at.start("r1")
+            made = await at.accept()
+            await read(made, b"r1")
+            made.send(GOOD)
+            await until(lambda: at.ends)
+            at.start("r2")  # it waits, and nothing is opened for it yet
+            assert await at.accepts_none()
+            made.send(GOOD)
+            other = await at.accept()
+            assert b"r2" in await read(other, b"r2")
+            other.send(b"*1\r\n$2\r\nr2\r\n")
+            await until(lambda: len(at.ends) == 2)
+            assert at.ends == [("r1", Verdict.OK, b"good"), ("r2", Verdict.OK, b"r2")]
+
+    play(test)
+
+
+def test_an_attempt_waits_for_a_connection_that_rests_and_opens_none() -> None:
+    async def test() -> None:
+        async with node() as at:
+            made = await at.idle()
+            at.link._idle[0].answered_at = at.loop.time()
+            at.start("r2")
+            assert b"r2" in await read(made, b"r2") and await at.accepts_none()
+
+    play(test)
