Count a connection that ends before its first use as refused

Seen, on real sockets: where a server closed or greeted each connection before the event loop came to it, the next was dialled at once, and so on until the attempt's time for a connection was over: dozens in place of one.

At fault: RespServerLink.opened, which took each for up; closed() then opened another for who waited.

One that is not sound when it comes up is told as refused: who waits hears at once, unless another is on its way. Test: one connection and one end where there were over twenty. Two more tests hold what was right already: without a descriptor those that wait are told at once, and a flood in place of an answer costs its server the connection, and no other link anything.

--- a/badgeryoke/resp/server_link.py
+++ b/badgeryoke/resp/server_link.py
@@ -279,6 +279,9 @@
     def opened(self, connection: _Connection) -> None:
         if connection not in self._all or connection.up:
             return
+        if not self._sound(connection):
+            connection.stream.close()  # as one that was refused: dialled again at once, it would go round and round
+            return
         connection.up = True
         self._opening -= 1
         self._free(connection)
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -7,8 +7,10 @@
 
 import asyncio
 import contextlib
+import errno
 import socket
 import struct
+import time
 from collections.abc import AsyncIterator
 from typing import Any
 
@@ -293,3 +295,79 @@
             assert b"r2" in await read(made, b"r2") and await at.accepts_none()
 
     play(test)
+
+
+@pytest.mark.parametrize("greeting", [b"", b"-BUSY too many connections\r\n"])
+def test_a_server_that_ends_each_connection_at_once_gets_no_burst_of_them(greeting: bytes) -> None:
+    """Its end had come before the connection was looked at: another was dialled at once, and so on, for as long as an
+    attempt may wait for one."""
+
+    async def test() -> None:
+        async with node() as at:
+            real = at.link.opened
+
+            def late(connection: Any) -> None:  # the event loop is late: the end is there before
+                while True:
+                    try:
+                        made = at.listener.accept()[0]
+                        break
+                    except BlockingIOError:
+                        time.sleep(0.001)
+                at.taken.append(made)
+                if greeting:
+                    made.send(greeting)
+                else:
+                    made.close()
+                real(connection)
+
+            at.link.opened = late  # type: ignore[method-assign]
+            at.start("r1")
+            await until(lambda: at.ends or len(at.taken) > 20)
+            assert [end[1] for end in at.ends] == [Verdict.CONNECT_FAILED] and len(at.taken) == 1
+
+    play(test)
+
+
+def test_without_a_descriptor_those_that_wait_are_told_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    def none(address: tuple[str, int]) -> socket.socket:
+        raise OSError(errno.EMFILE, "too many open files")
+
+    async def test() -> None:
+        async with node() as at:
+            with monkeypatch.context() as full:
+                full.setattr(actor, "new_socket", none)
+                at.start("r1")
+                assert [end[1] for end in at.ends] == [Verdict.CONNECT_FAILED] and not at.link._all
+            at.start("r2")
+            assert b"r2" in await read(await at.accept(), b"r2")
+
+    play(test)
+
+
+@pytest.mark.parametrize("flood", [b"+OK\r\n", b"*1\r\n", b"$65536\r\n", b"-", b"*1\r\n$4000000\r\n"])
+def test_a_flood_in_place_of_an_answer_is_an_error_and_costs_its_server_the_connection(flood: bytes) -> None:
+    """Bounded: the connection ends long before all that is sent has come."""
+
+    async def test() -> None:
+        async with node() as at, node() as sound:
+            at.start("r1")
+            made = await at.accept()
+            await read(made, b"r1")
+            sent, data = 0, memoryview(flood * (1_000_000 // len(flood)))
+            while not at.ends or sent < 64:
+                with contextlib.suppress(BlockingIOError):
+                    try:
+                        sent += made.send(data[:65_536])
+                    except ConnectionError:
+                        break
+                await asyncio.sleep(0)
+            sound.start("r2")
+            other = await sound.accept()
+            await read(other, b"r2")
+            other.send(GOOD)
+            await until(lambda: sound.ends and at.ends)
+            assert [end[1] for end in at.ends] == [Verdict.ERROR] and sound.ends[0][2] == b"good"
+            await until(lambda: not at.link._all)
+            assert sent < 2_000_000
+
+    play(test)
