Read what is there before an answer counts as one that does not end

Seen: an answer came in two pieces, the second while the event loop stood still. The loop comes to its timers before the readers that its sockets have woken, and so the timer for an answer without an end threw a good answer away; an unsafe request failed for it, a keyed one was sent once more.

At fault: RespServerLink._unended judged by the clock alone. Now the judgement is made a round later, behind what was woken, and not while bytes lie in the socket. Test: the loop is held for the whole patience; failed before.

--- a/badgeryoke/resp/server_link.py
+++ b/badgeryoke/resp/server_link.py
@@ -379,6 +379,14 @@
             if connection.paused or left > 0:
                 wait_s = (patience if connection.paused else left) / 1000.0
                 self._loop.call_later(wait_s, self.deliver, self._unended, connection, execution)
+            else:
+                self._loop.call_soon(self.deliver, self._never_ended, connection, execution, connection.heard_at)
+
+    def _never_ended(self, connection: _Connection, execution: Execution, heard_at: float) -> None:
+        """A late event loop comes to the timer first, and only then to what was there in time."""
+        if connection.begun and connection.execution is execution:
+            if connection.heard_at != heard_at or self._unread(connection):
+                self._loop.call_later(BEGUN_MS / 1000.0, self.deliver, self._unended, connection, execution)
             else:
                 self._spoilt(connection, execution, "began an answer and did not end it")
 
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -20,7 +20,7 @@
 from badgeryoke.actor import Turns, new_socket
 from badgeryoke.execution import End, Execution, Query
 from badgeryoke.resp import server_link
-from badgeryoke.resp.server_link import RespServerLink
+from badgeryoke.resp.server_link import BEGUN_MS, RespServerLink
 from martenstep.interface import Verdict
 from tests.standins import HOST, NOW_MS
 from tests.test_front import play
@@ -344,6 +344,25 @@
     play(test)
 
 
+def test_an_answer_that_was_there_in_time_counts_though_the_event_loop_is_late() -> None:
+    """Its first bytes had come; with the rest in the socket the timer came first, and threw it away."""
+
+    async def test() -> None:
+        async with node() as at:
+            at.start("r1")
+            made = await at.accept()
+            await read(made, b"r1")
+            made.send(GOOD[:6])
+            await until(lambda: any(one.begun for one in at.link._all))
+            made.send(GOOD[6:])
+            at.now += BEGUN_MS
+            time.sleep(BEGUN_MS / 1000.0)
+            await until(lambda: at.ends)
+            assert at.ends == [("r1", Verdict.OK, b"good")]
+
+    play(test)
+
+
 @pytest.mark.parametrize("flood", [b"+OK\r\n", b"*1\r\n", b"$65536\r\n", b"-", b"*1\r\n$4000000\r\n"])
 def test_a_flood_in_place_of_an_answer_is_an_error_and_costs_its_server_the_connection(flood: bytes) -> None:
     """Bounded: the connection ends long before all that is sent has come."""
