End an attempt that times out in the core's own turn

Seen: an attempt with a time-out of its own was given up straight from the event loop's timer. Where core and the next server's link had mail at that moment, the next attempt was written before the first one's connection was closed: two were out.

Ruled out: in the core's turn the old link is due before the core's next turn, in which alone another attempt can begin; so cancels, deadlines and leaving clients close first.

At fault: Core._send, call_later(execution.abandon). It is delivered to the core now. Test: both have mail, the timer comes first; the next write saw the old connection open before, and closed now.

--- a/badgeryoke/core.py
+++ b/badgeryoke/core.py
@@ -448,7 +448,9 @@
             run.execution = execution
             execution.on_begun = lambda relay: self.post(self._begun, run, execution, relay)
             if deadline < run.deadline_ms - 1.0:
-                self._loop.call_later((deadline - now) / 1000.0, execution.abandon, api.Verdict.TIMEOUT)
+                # In a turn of the core's: its connection is closed before the next attempt is written anywhere.
+                self._loop.call_later((deadline - now) / 1000.0, self.deliver, execution.abandon,
+                                      api.Verdict.TIMEOUT)
             link.start(execution)
 
     def _ended(self, run: _Running, execution: Execution, end: End) -> None:
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -11,18 +11,22 @@
 import socket
 import struct
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Any
 
 import pytest
 
 from badgeryoke import actor
 from badgeryoke.actor import Turns, new_socket
+from badgeryoke.core import Answer, Core
 from badgeryoke.execution import End, Execution, Query
 from badgeryoke.resp import server_link
 from badgeryoke.resp.server_link import BEGUN_MS, RespServerLink
+from martenstep import interface as api
+from martenstep.decide import Gateway
 from martenstep.interface import Verdict
-from tests.standins import HOST, NOW_MS
+from tests.standins import HOST, NOW_MS, settings
+from tests.test_core import KEYED, UNSAFE, NoCounter
 from tests.test_front import play
 from tests.test_service import until
 
@@ -390,3 +394,57 @@
             assert sent < 2_000_000
 
     play(test)
+
+
+# One attempt at a time --------------------------------------------------------------------------------
+
+
+@contextlib.asynccontextmanager
+async def core(monkeypatch: pytest.MonkeyPatch, decide: Callable[[api.Event], list[api.Action]]
+               ) -> AsyncIterator[tuple[Core, Node, Node, list[Answer]]]:
+    """A core before two servers, whose module is the test's."""
+    monkeypatch.setattr(Gateway, "handle", lambda self, now, event: decide(event))
+    async with node() as first, node() as second:
+        second.loop = second.link._loop = first.loop
+        made = Core(settings(has_counter=False, classes=(KEYED, UNSAFE)), 1, first.loop, lambda: NOW_MS,
+                    lambda number: {1: first, 2: second}[number].link, NoCounter())
+        answers: list[Answer] = []
+        made.submit(Query("r1", "load-send", "free", 5, 2000.0, 1.0, 1, key="k"), answers.append)
+        first.loop.run()
+        yield made, first, second, answers
+
+
+def test_the_attempt_given_up_has_ended_before_the_next_is_written(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A time-out of its own ended an attempt outside the core's turn: where the next server's link had mail already,
+    the next attempt was written before the first one's connection was closed."""
+    sends = {1: api.Send("1", 1, 500.0), 2: api.Send("1", 2, 500.0)}
+
+    def decide(event: api.Event) -> list[api.Action]:
+        match event:
+            case api.Request():
+                return [sends[1]]
+            case api.Outcome(verdict=Verdict.TIMEOUT, attempt=0):
+                return [sends[2]]
+        return []
+
+    async def test() -> None:
+        async with core(monkeypatch, decide) as (made, first, second, _):
+            await read(await first.accept(), b"r1")
+            await second.idle()
+            ended: list[bool] = []
+            write = second.link._write
+
+            def written(*args: Any) -> None:
+                ended.append(not first.link._all or all(one.stream.closed() for one in first.link._all))
+                write(*args)
+
+            second.link._write = written  # type: ignore[method-assign, assignment]
+            scheduled = asyncio.get_running_loop()._scheduled  # type: ignore[attr-defined]
+            [timer] = [one for one in scheduled if Verdict.TIMEOUT in (one._args or ())]
+            made.post(lambda: None)  # both have mail, and the event loop comes to the timer first
+            second.link.post(lambda: None)
+            timer._callback(*timer._args)
+            await until(lambda: ended)
+            assert ended == [True]
+
+    play(test)
