See a client that goes while no more is read of it, and take much at once in pieces

Seen on sockets: with 64 commands waiting and more than one reading behind them, a client's close went unseen until the queries' own deadlines (serve waited for room alone; Tornado reads one chunk while nobody reads, and then listens for errors only). A stream that closed with bytes in its buffer still gave them to serve, and a query in them was begun for a client that had gone. One reading brought 64 KiB: 560 queries had their decisions in one turn (33 ms of processor time, others 18 ms for PINGs), whether or not a close lay behind. Ruled out: a reset (reported as an error, the stream closes at once); a close while an answer or a long value goes out (serve reads on, so the FIN is read).

Behind a full piece others have their turn, and there, or every 50 ms while no more is read, the socket is asked whether the peer has ended its sending (POLLRDHUP). Behind a fault nothing is read while answers ahead of it wait, as with 64 commands. A closed stream's bytes are not taken. A FIN counts as the client's leaving, as before; serve says why.

Tests, without the change: unseen for the whole bound; 65 queries taken in place of 64; one turn of 65,536 bytes. The half-close test passed before.

--- a/badgeryoke/resp/client_link.py
+++ b/badgeryoke/resp/client_link.py
@@ -7,6 +7,7 @@
 import logging
 import math
 import re
+import select
 import socket
 from collections import deque
 from collections.abc import Callable
@@ -14,7 +15,7 @@
 
 from tornado.iostream import IOStream, StreamClosedError
 
-from badgeryoke.actor import READ_CHUNK, Actor, Turns
+from badgeryoke.actor import Actor, Turns
 from badgeryoke.core import Answer, Core, Passing, Refused, Served
 from badgeryoke.execution import Query, customer_number
 from badgeryoke.relay import Relay
@@ -34,6 +35,10 @@
 # its first.
 END_TAKES_S, END_FIRST_S = 1.0, 0.5
 MOST_WAITING = 64  # commands of one connection that wait for their answers; more are not read meanwhile
+# Bytes that are read, and taken, in one turn: hundreds of commands at once would keep all others waiting.  The
+# streams read by the same measure, so that nothing lies between the socket and the turn.
+READ_AT_ONCE = 4096
+LOOK_S = 0.05  # while no more is read of a client, whether it has gone is looked at so often
 PIECE = 32 * 1024  # of a long value is written at once; the next when this one has gone out
 PONG, OK = b"+PONG\r\n", b"+OK\r\n"
 
@@ -93,6 +98,13 @@
         return False
 
 
+def _hung_up(stream: IOStream) -> bool:
+    """Whether a client has ended its sending, however much lies unread before that end."""
+    look = select.poll()
+    look.register(stream.socket, select.POLLRDHUP)
+    return bool(look.poll(0))
+
+
 class _Slot:
     """The place of one command in the order of answers."""
 
@@ -117,6 +129,7 @@
         self._ending = False  # closes once what was taken is answered
         self._broken = self._finished = False  # nothing that comes then can be taken
         self._late = False  # it should have ended: what comes is refused, and what is unread stays so
+        self._much = False  # as much as is read at once came, and more may lie behind it
         self._told_at = -math.inf  # when an answer was last written
         self._room = asyncio.Event()
         self.spoke = False  # a whole command has come
@@ -134,6 +147,11 @@
             return False
         return not self._stream.writing() and not _unread(self._stream)
 
+    @property
+    def _held_back(self) -> bool:
+        """Whether no more is read for now."""
+        return len(self._slots) >= MOST_WAITING or (self._broken and bool(self._slots))
+
     @property
     def held(self) -> int:
         """Bytes held of a command that is not whole."""
@@ -157,20 +175,40 @@
             self._stream.close()
 
     async def serve(self) -> None:
-        """Read until the connection ends, and no further while too many commands wait for their answers."""
+        """Read until the connection ends, and no further while too many commands wait for their answers.
+
+        The end of the client's sending counts as its leaving: closed or only ended, the other machine sends the
+        same FIN, and the protocol has clients that close and none that end their sending and still read.
+        """
         try:
             while True:
-                self.deliver(self._take, await self._stream.read_bytes(READ_CHUNK, partial=True))
-                if len(self._slots) >= MOST_WAITING:
-                    self._room.clear()
-                    await self._room.wait()
-        except StreamClosedError:
+                self.deliver(self._take, await self._stream.read_bytes(READ_AT_ONCE, partial=True))
+                if self._much or self._held_back:
+                    await self._pause()
+        except OSError:  # the stream's own end among them
             pass
 
+    async def _pause(self) -> None:
+        """Much has come at once: let others have their turn, and go on when there is room.  What the client sent
+        before it left is of no use to anybody, so its leaving must not wait until that is read."""
+        await asyncio.sleep(0)
+        while not self._stream.closed():
+            if _hung_up(self._stream):
+                self._stream.close()
+            if not self._held_back:
+                return
+            self._room.clear()
+            timer = self._loop.call_later(LOOK_S, self._room.set)
+            await self._room.wait()
+            timer.cancel()
+
     def _take(self, data: bytes) -> None:
-        if self._broken or self._finished:
+        # A closed stream still gives what it has read: its client has gone, and nothing may begin for it.
+        if self._broken or self._finished or self._stream.closed():
+            self._much = len(data) >= READ_AT_ONCE
             return
         values = self._parser.feed(data)
+        self._much = bool(values) and len(data) >= READ_AT_ONCE  # within a value, which has a bound, it goes on
         for value in values:
             self._command(value)
             if self._broken:
@@ -211,7 +249,8 @@
             self._refuse(slot, "unknown command")
 
     def _refuse(self, slot: _Slot, words: str) -> None:
-        """A command that cannot be taken; a client that sends many of them is not listened to any longer."""
+        """A command that cannot be taken; a client that sends many of them is not listened to any longer: bad
+        input costs its sender the connection, and whoever sent it is none of the clients that requests are of."""
         slot.reply = error(f"ERR {words}")
         self._faults += 1
         if self._faults >= MOST_FAULTS:
--- a/badgeryoke/resp/front.py
+++ b/badgeryoke/resp/front.py
@@ -10,7 +10,7 @@
 from badgeryoke.actor import Turns
 from badgeryoke.core import Core
 from badgeryoke.host_group import HostGroup
-from badgeryoke.resp.client_link import ClientLink
+from badgeryoke.resp.client_link import READ_AT_ONCE, ClientLink
 
 log = logging.getLogger("badgeryoke")
 
@@ -35,7 +35,7 @@
 
     def __init__(self, core: Core, loop: Turns, most: int, host_group: HostGroup, most_held: int,
                  crowd: int) -> None:
-        super().__init__(max_buffer_size=CLIENT_BUFFER)
+        super().__init__(max_buffer_size=CLIENT_BUFFER, read_chunk_size=READ_AT_ONCE)
         self._crowd = crowd
         self._most_held = most_held
         self._core, self._loop, self._most, self._host_group = core, loop, most, host_group
