Close no connection over what was read and had no turn yet, nor under a query that came

Three orders lost a whole request, each made to happen on sockets: - A reading is done one round of the event loop before serve goes on. The stream says whether somebody waits for a reading; where not, bytes may be in hand, and the end waits for their turn. - _finish came back by a timer while the last answer went out, and did not look at the slots again: a query taken meanwhile had our side closed under it. The end of the writing now brings a turn, which looks. - drop closed over half a command whose rest lay unread in the socket.

abort stays a close at once: its client has not fetched its answers for seconds, and none could reach it. The tests got an empty answer, a reset, or a closed connection before.

--- a/badgeryoke/resp/client_link.py
+++ b/badgeryoke/resp/client_link.py
@@ -129,6 +129,7 @@
         self._ending = False  # closes once what was taken is answered
         self._broken = self._finished = False  # nothing that comes then can be taken
         self._late = False  # it should have ended: what comes is refused, and what is unread stays so
+        self._taking = False  # what was read last is in its turn
         self._much = False  # as much as is read at once came, and more may lie behind it
         self._told_at = -math.inf  # when an answer was last written
         self._room = asyncio.Event()
@@ -145,7 +146,13 @@
         """Whether nothing is open, on its way in or on its way out: the connection may be closed."""
         if self._stream.closed() or self._slots or self._mail or not self._parser.idle or self._ending:
             return False
-        return not self._stream.writing() and not _unread(self._stream)
+        return not self._stream.writing() and not self._in_hand and not _unread(self._stream)
+
+    @property
+    def _in_hand(self) -> bool:
+        """Whether bytes may have left the socket that had no turn yet: a reading is done one round of the event
+        loop before whoever waits for it goes on."""
+        return not self._stream.reading() and not self._taking
 
     @property
     def _held_back(self) -> bool:
@@ -163,15 +170,16 @@
         return bool(self._slots) and self._slots[0].relay is not None
 
     def abort(self) -> None:
-        """Close a connection whose client does not fetch its answers."""
+        """Close at once: one that is idle, or whose client does not fetch its answers, so that nothing it asks
+        could reach it."""
         self._stream.close()
 
     def drop(self) -> None:
-        """Close a connection that is idle, or holds half a command that does not come to its end; one that
-        owes answers gives them first."""
+        """Close a connection that holds half a command which does not come to its end, or none.  One that owes
+        answers gives them first, and what lies unread may be the rest: it is taken, and the next call looks."""
         if self._slots:
-            self.post(self._end_now)
-        else:
+            self.post(self._end_late)
+        elif not self._in_hand and not _unread(self._stream):
             self._stream.close()
 
     async def serve(self) -> None:
@@ -182,7 +190,13 @@
         """
         try:
             while True:
-                self.deliver(self._take, await self._stream.read_bytes(READ_AT_ONCE, partial=True))
+                reading = self._stream.read_bytes(READ_AT_ONCE, partial=True)
+                if self._ending and self._stream.reading():
+                    self.post(self._moved)  # nothing is in hand any more
+                data = await reading
+                self._taking = True
+                self.deliver(self._take, data)
+                self._taking = False
                 if self._much or self._held_back:
                     await self._pause()
         except OSError:  # the stream's own end among them
@@ -264,7 +278,7 @@
             slot.reply, slot.left = encode(answer), None
 
     def _moved(self) -> None:
-        """A relay has more, or there is room for more: the end of this turn looks."""
+        """A relay has more, there is room for more, or the end may have come: the end of this turn looks."""
 
     def turn_ended(self) -> None:
         """Write the answers that are at the head of the order, in one piece."""
@@ -301,7 +315,7 @@
         """What had been written is out; retrieves the exception of a write that its end cut short."""
         if not done.cancelled() and done.exception() is None:
             self.unread_since = math.inf
-            if self._slots and self._slots[0].relay is not None:
+            if self._ending or (self._slots and self._slots[0].relay is not None):
                 self.deliver(self._moved)
 
     def _pass_on(self, slot: _Slot, relay: Relay, out: list[bytes | None]) -> bool:
@@ -328,13 +342,12 @@
     def _finish(self) -> None:
         """Close, but only our side at first: closed whole with bytes unread, the connection would be reset,
         and the reset could overtake the last answer."""
-        if self._stream.closed():
-            return
-        if self._stream.writing():
-            self._loop.call_later(0.01, self.deliver, self._finish)
-        elif not self._broken and not self._late and (not self._parser.idle or _unread(self._stream)):
-            pass  # sent before our end: it is read and answered, and that turn comes here again
-        elif not self._finished:
+        if self._stream.closed() or self._stream.writing():
+            return  # once that is out, its turn comes here again
+        if not self._broken and (self._in_hand or (
+                not self._late and (not self._parser.idle or _unread(self._stream)))):
+            return  # sent before our end: it is read and answered, and that turn comes here again
+        if not self._finished:
             self._finished = True
             if self._loop.time() - self._told_at >= LINGER_S:  # its last answer is long there
                 self._stream.close()  # what crosses this is not read, so the client sends it again
@@ -347,9 +360,6 @@
         """Close between requests, once everything taken has its answer."""
         self.post(self._end)
 
-    def _end_now(self) -> None:
-        self._broken = self._ending = True
-
     def _end(self) -> None:
         if not self._leaving:
             self._leaving = True
--- a/badgeryoke/resp/front.py
+++ b/badgeryoke/resp/front.py
@@ -90,7 +90,7 @@
                 worst = idle_s, link
         if worst is None:
             return False
-        worst[1].drop()
+        worst[1].abort()  # looked at in this turn: nothing lies there
         self._closed(worst[1])  # it counts no longer, though its end is still in its mailbox
         return True
 
--- a/tests/test_client_ends.py
+++ b/tests/test_client_ends.py
@@ -8,12 +8,14 @@
 from typing import Any
 
 import pytest
+from tornado.ioloop import IOLoop
 from tornado.iostream import IOStream
 
 from badgeryoke.actor import Turns
 from badgeryoke.execution import Query
 from badgeryoke.gateway import App
 from badgeryoke.resp import client_link as client_link_module
+from badgeryoke.resp import front as front_module
 from badgeryoke.resp.client_link import MOST_WAITING, READ_AT_ONCE, ClientLink
 from tests.standins import (
     connect,
@@ -44,6 +46,21 @@
     return got
 
 
+async def linked(app: App) -> tuple[socket.socket, ClientLink]:
+    """A client that has had its first answer, and the gateway's end of it."""
+    made = client(app)
+    made.sendall(query("first"))
+    made.setblocking(False)
+    assert await asyncio.get_running_loop().sock_recv(made, 100) == b"$5\r\nvalue\r\n"
+    made.setblocking(True)
+    return made, list(app._front.links)[-1]
+
+
+def read(link: ClientLink) -> None:
+    """The event loop finds the socket readable; whoever waits for the reading goes on one round later."""
+    link._stream._handle_events(link._stream.socket, IOLoop.READ)
+
+
 # Clients that go ---------------------------------------------------------------------------------------
 
 
@@ -137,3 +154,78 @@
             assert max(sizes) == READ_AT_ONCE
 
     play(test)
+
+
+# Connections that the gateway ends ------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("end", ["sweep", "make room", "end"])
+def test_what_was_read_and_had_no_turn_yet_keeps_its_connection(
+        end: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    """A reading is done one round of the event loop before it is taken: the socket was empty, no command open,
+    and the connection counted as idle."""
+    async def test() -> None:
+        async with one_gateway() as (app, _, _):
+            made, link = await linked(app)
+            monkeypatch.setattr(front_module, "IDLE_S", 0.0)
+            made.sendall(query("second"))
+            read(link)
+            match end:
+                case "sweep":
+                    app._front.sweep()
+                case "make room":
+                    assert not app._front._make_room(0.0)
+                case "end":
+                    link.end()
+                    app._loop.run()
+            monkeypatch.setattr(front_module, "IDLE_S", 20.0)
+            made.setblocking(False)
+            assert await asyncio.get_running_loop().sock_recv(made, 100) == b"$5\r\nvalue\r\n"
+            made.close()
+
+    play(test)
+
+
+def test_a_query_taken_while_the_last_answer_goes_out_has_its_answer_too() -> None:
+    """The end waited for the writing alone, and closed our side under a query that had come meanwhile."""
+    value = b"*1\r\n" + resp("v" * 65_000)[4:]
+
+    async def test() -> None:
+        async with one_gateway(script=[value, None]) as (app, node, _):
+            made = socket.socket()
+            made.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            made.connect(app.address)
+            await until(lambda: app._front.links)
+            [link] = app._front.links
+            link._stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            made.sendall(query("first"))
+            await until(lambda: link._stream.writing())
+            link.end()
+            await until(lambda: link._ending)
+            made.sendall(query("second"))
+            await until(lambda: len(node.commands) == 2)
+            made.setblocking(False)
+            for _ in range(65_000 // 1000):  # the long answer
+                await asyncio.get_running_loop().sock_recv(made, 1000)
+            await until(lambda: not link._stream.writing())
+            for _ in range(20):  # what the end of the writing brings has come
+                await asyncio.sleep(0.001)
+            node.writers[0].write(LAST)
+            assert (await answers(made)).endswith(b"$4\r\nlast\r\n")
+
+    play(test)
+
+
+def test_the_rest_of_a_command_that_lies_unread_is_taken_before_its_connection_is_dropped() -> None:
+    async def test() -> None:
+        async with one_gateway() as (app, _, _):
+            made, link = await linked(app)
+            made.sendall(query("slow")[:40])
+            await until(lambda: link.held)
+            made.sendall(query("slow")[40:])
+            link.drop()
+            made.setblocking(False)
+            assert await asyncio.get_running_loop().sock_recv(made, 100) == b"$5\r\nvalue\r\n"
+            made.close()
+
+    play(test)
