Answer what waits to be accepted at the end, and whoever finds no place for its connection

Seen on sockets: connections that the system had accepted were reset with the listening socket, and one whose handle_stream had not begun was not waited for, since it was in no list yet (the end went on in the same turn). Beyond the bound a connection was closed over the query written to it. At EMFILE Tornado's accept handler raises into the event loop, which finds the socket readable again: 201 attempts and tracebacks in 200 rounds.

RespFront accepts by itself: a link is known in the turn that accepts it; stop() takes all that waits before it closes; beyond the bound a sixteenth of it is taken to be refused (-BUSY, then the end), and more wait with the system for 50 ms; without a descriptor the idlest connection gives way, or accepting rests as long.

Ruled out, with tests that passed before: idle clients in a process of 64 descriptors while discovery is down (clients keep to half of the table, discovery is heard and a new client served); a second SIGTERM and a frozen counter delay no end; TCP_NODELAY is set on accepted sockets, inherited listener or not, and on those dialled to servers, counter and discovery.

--- a/badgeryoke/gateway.py
+++ b/badgeryoke/gateway.py
@@ -27,7 +27,7 @@
 from badgeryoke.host_group import Host, HostGroup
 from badgeryoke.operators import NAME
 from badgeryoke.relay import Room
-from badgeryoke.resp.front import RespFront
+from badgeryoke.resp.front import BACKLOG, RespFront
 from badgeryoke.resp.server_link import RespServerLink
 from martenstep.interface import Members, State, Total, Verdict
 
@@ -154,7 +154,7 @@
         """Take clients."""
         host, port = self._config.listen
         if self._config.socket_fd is None:
-            sockets = bind_sockets(port, host, backlog=512)
+            sockets = bind_sockets(port, host, backlog=BACKLOG)
         else:
             sockets = [socket.socket(fileno=os.dup(self._config.socket_fd))]  # our own to close
             sockets[0].setblocking(False)
--- a/badgeryoke/resp/client_link.py
+++ b/badgeryoke/resp/client_link.py
@@ -128,6 +128,7 @@
         self._slots: deque[_Slot] = deque()
         self._ending = False  # closes once what was taken is answered
         self._broken = self._finished = False  # nothing that comes then can be taken
+        self._refusing = False  # what comes is refused
         self._late = False  # it should have ended: what comes is refused, and what is unread stays so
         self._taking = False  # what was read last is in its turn
         self._much = False  # as much as is read at once came, and more may lie behind it
@@ -182,6 +183,10 @@
         elif not self._in_hand and not _unread(self._stream):
             self._stream.close()
 
+    def turn_away(self) -> None:
+        """There is no place for it: what it asks first is refused, and it ends."""
+        self.post(self._turn_away)
+
     async def serve(self) -> None:
         """Read until the connection ends, and no further while too many commands wait for their answers.
 
@@ -251,7 +256,7 @@
             except (ValueError, OverflowError) as fault:
                 self._refuse(slot, f"syntax: {fault}")
                 return
-            if self._late:  # read, it is owed an answer: dropped, it would be lost with the connection
+            if self._refusing:  # read, it is owed an answer: dropped, it would be lost with the connection
                 slot.reply = encode(Refused(1.0))
                 return
             slot.left = self._core.submit(query, lambda answer: self.post(self._answered, slot, answer))
@@ -360,6 +365,10 @@
         """Close between requests, once everything taken has its answer."""
         self.post(self._end)
 
+    def _turn_away(self) -> None:
+        self._refusing = True
+        self._end()
+
     def _end(self) -> None:
         if not self._leaving:
             self._leaving = True
@@ -370,7 +379,7 @@
 
     def _end_late(self) -> None:
         """It has had its time: it ends as soon as nothing is open."""
-        self._late = self._ending = True
+        self._refusing = self._late = self._ending = True
 
     def _silent(self) -> None:
         """It had its time to ask."""
--- a/badgeryoke/resp/front.py
+++ b/badgeryoke/resp/front.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
+import socket
 
 from tornado.iostream import IOStream
-from tornado.tcpserver import TCPServer
 
 from badgeryoke.actor import Turns
 from badgeryoke.core import Core
@@ -28,19 +29,25 @@
 CLIENT_WRITES = 128 * 1024  # and of what it has not yet fetched, ...
 UNREAD_S = 2.5  # ... which it must fetch within this time, ...
 STALLED_S = 10.0  # ... and each piece of a long value within this
+BACKLOG = 512  # connections that the system accepts for us and holds
+ACCEPT_AT_ONCE = 64  # of them are taken before others have their turn
+# Beyond the bound on connections so many of it more are taken only to be told so; others wait with the system, and
+# are looked at again after this time.
+TURNED_PART, LEAST_TURNED, ACCEPT_AGAIN_S = 1 / 16, 4, 0.05
 
 
-class RespFront(TCPServer):
+class RespFront:
     """Accepts the platform's clients."""
 
     def __init__(self, core: Core, loop: Turns, most: int, host_group: HostGroup, most_held: int,
                  crowd: int) -> None:
-        super().__init__(max_buffer_size=CLIENT_BUFFER, read_chunk_size=READ_AT_ONCE)
         self._crowd = crowd
         self._most_held = most_held
         self._core, self._loop, self._most, self._host_group = core, loop, most, host_group
-        self._whole = most
-        self.links: dict[ClientLink, None] = {}
+        self._whole, self._turned = most, max(int(most * TURNED_PART), LEAST_TURNED)
+        self.links: dict[ClientLink, asyncio.Future[None] | None] = {}  # each with what reads it
+        self._listening: list[socket.socket] = []
+        self._paused = False
         self.turning = False  # PING says no: clients are sent away
         self._closing = False  # connections end between requests, those to come after their first
         self._full_logged = False
@@ -48,20 +55,70 @@
     def ready(self) -> bool:
         return self._host_group.ready and not self.turning
 
-    async def handle_stream(self, stream: IOStream, address: object) -> None:
-        if len(self.links) >= self._most and not self._make_room(GIVE_WAY_S):
-            if not self._full_logged:
-                self._full_logged = True
-                log.warning("clients are turned away: %d connections are open and in use", len(self.links))
-            stream.close()
-            return
+    def add_sockets(self, sockets: list[socket.socket]) -> None:
+        """Accept what comes on these."""
+        self._listening += sockets
+        self._watch()
+
+    def stop(self) -> None:
+        """Accept no more.  What the system has accepted for us is ours: it would be reset with the socket."""
+        listening, self._listening = self._listening, []
+        for one in listening:
+            asyncio.get_running_loop().remove_reader(one)
+            self._accept(one, last=True)
+            one.close()
+
+    def _watch(self) -> None:
+        self._paused = False
+        for one in self._listening:
+            asyncio.get_running_loop().add_reader(one, self._accept, one)
+
+    def _pause(self) -> None:
+        """Leave those that wait to the system: asked at once again, it would say the same."""
+        if not self._paused and self._listening:
+            self._paused = True
+            for one in self._listening:
+                asyncio.get_running_loop().remove_reader(one)
+            self._loop.call_later(ACCEPT_AGAIN_S, self._watch)
+
+    def _accept(self, listening: socket.socket, last: bool = False) -> None:
+        """Take the connections that wait, as far as there is room, or all of them at the end."""
+        for _ in range(2 * BACKLOG if last else ACCEPT_AT_ONCE):
+            if len(self.links) >= self._most + self._turned and not last and not self._make_room(GIVE_WAY_S):
+                self._pause()
+                return
+            try:
+                made, _ = listening.accept()
+            except BlockingIOError:
+                return
+            except ConnectionAbortedError:
+                continue
+            except OSError as fault:  # no descriptor or no memory is left
+                self._full(f"none is accepted: {fault}")
+                if self._make_room(GIVE_WAY_S):
+                    continue
+                self._pause()
+                return
+            self._open(made)
+
+    def _open(self, made: socket.socket) -> None:
+        stream = IOStream(made, max_buffer_size=CLIENT_BUFFER, read_chunk_size=READ_AT_ONCE,
+                          max_write_buffer_size=CLIENT_WRITES)
         stream.set_nodelay(True)
-        stream.max_write_buffer_size = CLIENT_WRITES
+        full = len(self.links) >= self._most and not self._make_room(GIVE_WAY_S)
         link = ClientLink(stream, self._core, self._loop, self.ready, self._closed)
-        self.links[link] = None
-        if self._closing:
+        self.links[link] = None  # known from here on, so that an end waits for it
+        if full:
+            self._full(f"{len(self.links)} connections are open and in use")
+            link.turn_away()
+        elif self._closing:
             link.end()
-        await link.serve()
+        self.links[link] = asyncio.ensure_future(link.serve())
+
+    def _full(self, why: str) -> None:
+        if not self._full_logged:
+            self._full_logged = True
+            log.warning("clients are turned away: %s", why)
 
     def share(self, part: float) -> None:
         """Keep to a part of the bound on connections."""
@@ -112,7 +169,7 @@
                     break
         while len(self.links) > self._crowd and self._make_room(CROWD_S):
             pass
-        if self._full_logged and len(self.links) < self._most * 3 // 4:
+        if self._full_logged and not self._paused and len(self.links) < self._most * 3 // 4:
             self._full_logged = False
             log.info("clients are taken again: %d connections are open", len(self.links))
 
--- a/tests/test_client_ends.py
+++ b/tests/test_client_ends.py
@@ -3,28 +3,50 @@
 from __future__ import annotations
 
 import asyncio
+import errno
+import json
+import os
+import resource
+import signal
 import socket
+import subprocess
+import sys
+import time
 from collections.abc import Callable
+from dataclasses import replace
+from pathlib import Path
 from typing import Any
 
 import pytest
 from tornado.ioloop import IOLoop
 from tornado.iostream import IOStream
 
-from badgeryoke.actor import Turns
+from badgeryoke import gateway as gateway_module
+from badgeryoke.actor import Turns, WallClock
+from badgeryoke.drain import Event
 from badgeryoke.execution import Query
 from badgeryoke.gateway import App
 from badgeryoke.resp import client_link as client_link_module
 from badgeryoke.resp import front as front_module
 from badgeryoke.resp.client_link import MOST_WAITING, READ_AT_ONCE, ClientLink
 from tests.standins import (
+    HOST,
+    Backend,
+    Counter,
+    Discovery,
+    config,
     connect,
+    entry,
+    gateway,
     one_gateway,
     query,
+    read_reply,
     resp,
+    roster,
 )
 from tests.test_front import ask, play
 from tests.test_service import until
+from tests.test_wire import PARAMS
 
 LAST = b"*1\r\n$4\r\nlast\r\n"  # a backend's answer
 
@@ -229,3 +251,186 @@
             made.close()
 
     play(test)
+
+
+def test_who_finds_no_place_is_told_so(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Its connection was closed over the query that it had written."""
+    monkeypatch.setattr(gateway_module, "CLIENT_PART", 1 / 1024)
+
+    async def test() -> None:
+        async with one_gateway(script=[None]) as (app, node, _):
+            reader, writer = await connect(app.address)
+            writer.write(query("open"))
+            await node.books.arrived.wait()
+            for n in range(3):
+                made = client(app)
+                made.sendall(query(f"more{n}"))
+                assert await answers(made) == b"-BUSY 1\r\n"
+            crowd = [client(app) for _ in range(12)]  # beyond what can be told at a time: they wait
+            for n, made in enumerate(crowd):
+                made.sendall(query(f"crowd{n}"))
+            assert set(await asyncio.gather(*map(answers, crowd))) == {b"-BUSY 1\r\n"}
+            node.writers[0].write(LAST)
+            assert await read_reply(reader) == b"last"
+            writer.close()
+
+    play(test)
+
+
+# The end of the process ----------------------------------------------------------------------------------
+
+
+def test_what_waits_to_be_accepted_when_the_listener_stops_is_answered() -> None:
+    """The system had accepted it, and reset it with the listening socket; nor did the end wait for one whose
+    reading had not begun."""
+    async def test() -> None:
+        async with one_gateway(script=[None]) as (app, node, _):
+            waiting = [client(app) for _ in range(3)]
+            for n, made in enumerate(waiting):
+                made.sendall(query(f"r{n}"))
+            app._drained(Event.TERM)
+            app._drained(Event.TURNED)
+            await node.books.arrived.wait()
+            assert not app.done.is_set()
+            await until(lambda: len(node.commands) == 3)
+            for writer in node.writers:
+                writer.write(LAST)
+            got = await asyncio.gather(*map(answers, waiting))
+            assert sorted(got) == [b"$4\r\nlast\r\n"] + [b"$5\r\nvalue\r\n"] * 2
+            await app.done.wait()
+
+    play(test)
+
+
+def test_a_frozen_counter_and_a_second_sigterm_delay_no_end() -> None:
+    async def test() -> None:
+        async with Backend(script=[None]) as node, Counter() as counter, Discovery(entry("a", node.port)) as list_:
+            counter.held.clear()
+            made = config(list_.port, counter.port, roster(entry("a", node.port)), counter_timeout_ms=50.0)
+            async with gateway(made, WallClock(time.monotonic, time.time)) as app:
+                reader, writer = await connect(app.address)
+                writer.write(query())
+                await node.books.arrived.wait()
+                app.end()
+                app.end()
+                node.writers[0].write(LAST)
+                assert await reader.read() == b"$4\r\nlast\r\n"
+                app.end()
+                await app.done.wait()
+
+    play(test)
+
+
+# Sockets and descriptors ----------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("inherited", [False, True])
+def test_no_socket_holds_small_writes_back(inherited: bool, tmp_path: Path,
+                                           monkeypatch: pytest.MonkeyPatch) -> None:
+    dialled: list[socket.socket] = []
+    connects: Any = IOStream.connect
+
+    def connecting(stream: IOStream, *to: Any) -> Any:
+        dialled.append(stream.socket.dup())
+        return connects(stream, *to)
+
+    monkeypatch.setattr(IOStream, "connect", connecting)
+
+    async def test() -> None:
+        listening = socket.create_server((HOST, 0))
+        async with Backend() as node, Counter() as counter, Discovery(entry("a", node.port)) as list_:
+            made = config(list_.port, counter.port, roster(entry("a", node.port)))
+            if inherited:
+                made = replace(made, socket_fd=listening.fileno(), folder=str(tmp_path))
+            async with gateway(made) as app:
+                await until(lambda: app._listening and list_.calls)
+                one, link = await linked(app)
+                peers = {used.getpeername()[1] for used in dialled}
+                assert peers == {node.port, counter.port, list_.port}
+                for used in [link._stream.socket, *dialled]:
+                    assert used.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+                    if used in dialled:
+                        used.close()
+                one.close()
+        listening.close()
+
+    play(test)
+
+
+class Full(socket.socket):
+    """A listening socket in a process that has no descriptor left."""
+
+    asked, full = 0, True
+
+    def accept(self) -> Any:
+        self.asked += 1
+        if self.full:
+            raise OSError(errno.EMFILE, os.strerror(errno.EMFILE))
+        return super().accept()
+
+
+def test_without_a_descriptor_accepting_rests_and_goes_on(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The socket stays readable: each round of the event loop tried again and logged a traceback."""
+    monkeypatch.setattr(front_module, "ACCEPT_AGAIN_S", 0.2)
+
+    async def test() -> None:
+        async with one_gateway() as (app, _, _):
+            listening = Full()
+            listening.bind((HOST, 0))
+            listening.listen(8)
+            listening.setblocking(False)
+            app._front.add_sockets([listening])
+            made = socket.create_connection(listening.getsockname())
+            made.sendall(query())
+            await until(lambda: listening.asked)
+            for _ in range(200):
+                await asyncio.sleep(0)
+            assert listening.asked == 1
+            listening.full = False
+            made.setblocking(False)
+            assert await asyncio.get_running_loop().sock_recv(made, 100) == b"$5\r\nvalue\r\n"
+            made.close()
+
+    play(test)
+
+
+def test_idle_clients_leave_discovery_and_servers_their_descriptors(tmp_path: Path) -> None:
+    """A real process with few descriptors, and more clients than these while discovery is down."""
+    async def test() -> None:
+        with socket.socket() as free:
+            free.bind((HOST, 0))
+            port = free.getsockname()[1]
+        async with Backend() as node, Discovery(entry("a", node.port)) as list_:
+            served, raw_port = list_, list_.port
+            await served.__aexit__()
+            raw = {"name": "n1", "listen": f"{HOST}:{port}", "discovery": f"{HOST}:{raw_port}", "seed": "1f",
+                   "counter": f"{HOST}:1", "settings": PARAMS, "limits": {"sockets": 64}}
+            (tmp_path / "config.json").write_text(json.dumps(raw))
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "badgeryoke", cwd=Path(__file__).resolve().parent.parent,
+                env={**os.environ, "LB_CONFIG": str(tmp_path / "config.json")}, stderr=subprocess.PIPE,
+                preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (64, 64)))
+            assert process.stderr is not None
+            try:
+                while b"listens on" not in await process.stderr.readline():
+                    assert process.returncode is None
+                idle = [await connect((HOST, port)) for _ in range(100)]
+                async with served:
+                    while True:
+                        reader, writer = await connect((HOST, port))
+                        writer.write(resp("PING"))
+                        answer = await reader.readline()
+                        writer.close()
+                        if answer == b"+PONG\r\n":
+                            break
+                        await asyncio.sleep(0.05)
+                    assert list_.calls
+                    for _, writer in idle:
+                        writer.close()
+            finally:
+                process.send_signal(signal.SIGTERM)
+                said = await process.stderr.read()
+                await process.wait()
+            assert b"Traceback" not in said
+
+    play(test)
