Refuse what still comes when no time is left, where it was sent on and lost with the end

SIGKILL counts with the longest deadline, and connections that are never idle are served for 1.0 s after the drain has begun: where deadlines are short the process gives up its queries first, and what was read after that was sent on, to be lost 50 ms later. With the last look the links refuse what comes and end behind it. Without the change the test's late query went to the backend and had no answer.

--- a/badgeryoke/gateway.py
+++ b/badgeryoke/gateway.py
@@ -408,7 +408,9 @@
             case Effect.TIME_END:
                 longest_ms = max((cls.deadline_ms for cls in self._config.settings.classes), default=0.0)
                 most = min(longest_ms / 1000.0, KILL_COUNTS_S) + KILL_MARGIN_S
-                self._loop.call_later(max(most - self._config.drain_s, 0.0), self._wait_no_longer)
+                left_s = max(most - self._config.drain_s, 0.0)
+                self._loop.call_later(left_s, self._front.refuse_rest)
+                self._loop.call_later(left_s, self._wait_no_longer)
                 self._await_end()
             case Effect.REPORT:
                 log.info("ended: all answered")
--- a/badgeryoke/resp/client_link.py
+++ b/badgeryoke/resp/client_link.py
@@ -179,7 +179,7 @@
         """Close a connection that holds half a command which does not come to its end, or none.  One that owes
         answers gives them first, and what lies unread may be the rest: it is taken, and the next call looks."""
         if self._slots:
-            self.post(self._end_late)
+            self.end_late()
         elif not self._in_hand and not _unread(self._stream):
             self._stream.close()
 
@@ -365,6 +365,10 @@
         """Close between requests, once everything taken has its answer."""
         self.post(self._end)
 
+    def end_late(self) -> None:
+        """Close as soon as what is open has its answer, and refuse what comes until then."""
+        self.post(self._end_late)
+
     def _turn_away(self) -> None:
         self._refusing = True
         self._end()
--- a/badgeryoke/resp/front.py
+++ b/badgeryoke/resp/front.py
@@ -130,6 +130,11 @@
         for link in list(self.links):
             link.end()
 
+    def refuse_rest(self) -> None:
+        """What still comes is refused: sent on, it would have no answer before the process ends."""
+        for link in list(self.links):
+            link.end_late()
+
     def keep_links(self) -> None:
         """Connections to come are kept; those that are ending end."""
         self._closing = False
--- a/tests/test_client_ends.py
+++ b/tests/test_client_ends.py
@@ -302,6 +302,23 @@
     play(test)
 
 
+def test_near_sigkill_what_still_comes_is_refused_and_not_sent_on() -> None:
+    async def test() -> None:
+        async with one_gateway(script=[None, None]) as (app, node, _):
+            made = client(app)
+            made.sendall(query("held"))
+            await node.books.arrived.wait()
+            [link] = app._front.links
+            app._front.refuse_rest()
+            made.sendall(query("late"))
+            await until(lambda: len(link._slots) == 2)
+            app._wait_no_longer()
+            assert await answers(made) == b"-BUSY 100\r\n-BUSY 1\r\n"
+            assert len(node.commands) == 1
+
+    play(test)
+
+
 def test_a_frozen_counter_and_a_second_sigterm_delay_no_end() -> None:
     async def test() -> None:
         async with Backend(script=[None]) as node, Counter() as counter, Discovery(entry("a", node.port)) as list_:
