Call off a silent attempt only where its class may be sent again

Seen on sockets, deadline 12 s, aim 4 s, a server that holds its answers: a query of a class that must not run twice was cancelled after 1.9 s and answered as failed, with 10 s left to wait; so was a keyed one (2.4 s) whose window of 0.6 s was over before silence could be told.

At fault: Gateway._due asked whether attempts and the retry budget are left, not whether the rule on repeats leaves any server: the called-off attempt may have run, so _allowed then said no, and the work was wasted for nothing, which is what the comment there rules out. Ruled out: the deadline's timer and the end of the process (the same without a SIGTERM).

Test: of four classes the unsafe one and the one with the short window fail before, all pass after.

--- a/martenstep/decide.py
+++ b/martenstep/decide.py
@@ -810,9 +810,8 @@
         self._drop(job.request.id)
         return [Refuse(job.request.id, max(wait, 1.0))]
 
-    def _allowed(self, now: float, job: Job) -> Where | Literal[False]:
+    def _allowed(self, now: float, job: Job, risk: tuple[Server, float] | None) -> Where | Literal[False]:
         """Which servers the class's rule on repeats leaves: a test, None for all, False for none."""
-        risk = job.first_risk
         if risk is None or job.cls.effect is Effect.SAFE:
             return None
         if job.cls.effect is Effect.UNSAFE or now >= risk[1] + job.cls.window_ms:
@@ -835,7 +834,7 @@
 
     def _send(self, now: float, job: Job) -> list[Action]:
         """Start an attempt where it can still be answered in time, else give the final answer."""
-        left, attempt, allowed = job.deadline - now, len(job.attempts), self._allowed(now, job)
+        left, attempt, allowed = job.deadline - now, len(job.attempts), self._allowed(now, job, job.first_risk)
         spent = attempt >= job.most or left <= self._settings.tick_ms
         chosen = None if allowed is False or spent else self._choose(now, job, allowed)
         if chosen is None:
@@ -890,7 +889,8 @@
         if job is None or not job.server or len(job.attempts) != attempt + 1:
             return []
         server = job.attempts[-1]
-        more = self._retries >= 1 and len(job.attempts) < job.most
+        more = (self._retries >= 1 and len(job.attempts) < job.most
+                and self._allowed(now, job, job.first_risk or (job.server, now - patience)) is not False)
         # Only where another attempt can follow, else work is wasted; at once, for later it only adds to the load.
         silent = self._fleet.silent(now, server, (rid, attempt), patience)
         return [Cancel(rid, attempt)] if silent and more else []
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -76,6 +76,16 @@
     assert late == [api.Fail("r0")]
 
 
+@pytest.mark.parametrize(("cls", "given_up"), [("read", True), ("write", True), ("pay", False), ("short", False)])
+def test_a_silent_attempt_is_called_off_only_where_its_class_may_be_sent_again(cls: str, given_up: bool) -> None:
+    short = replace(SETTINGS.classes[1], name="short", window_ms=50.0)  # it is over before silence can be told
+    made = gateway(has_counter=False, classes=(*SETTINGS.classes, short))
+    actions = made.handle(START, request("a", cls))
+    [wake] = only(actions, api.Wake)
+    assert wake.at_ms < START + 4000.0
+    assert bool(only(made.handle(wake.at_ms, api.Due(wake.token)), api.Cancel)) is given_up
+
+
 @pytest.mark.parametrize("state", [api.State.DRAINING, api.State.GONE])
 def test_no_send_after_word_of_a_drain(state: api.State) -> None:
     made = free(servers=[server(1), server(2)])
