Take a customer's set of gateways anew with the plan that new settings bring

Seen in the source and by a probe: a ledger keeps `spread` and `first` from its first request. Where SIGHUP makes a fleet of 3 one of 150, each gateway went on with a third of a known customer's quota while the counter told nothing: 6 of 100 tries at once (60 units of burst) where a gateway started for 150 sends none.

At fault: Quota.ledger, which brings a known ledger's plan in line and not the set that its parts are reckoned from; plans/replan.py splits the ceiling's headroom by that set too.

Test: after the change a known customer gets no more through one gateway, give or take one, than a new one; 6 before.

--- a/martenstep/decide.py
+++ b/martenstep/decide.py
@@ -237,6 +237,7 @@
         plan = self._plans.get(found.plan.name, found.plan)
         if plan is not found.plan and not found.asked:
             from martenstep.plans.replan import replan  # not loaded where plans do not change
+            found.first, found.spread = request.first, max(1, min(request.spread, self._settings.gateways))
             replan(now, found, plan, self._settings)
         if self.sight and found.version != self.sight.version:
             self.sight.apply(now, found)
@@ -523,8 +524,7 @@
     def _may_warm(self, now: float, peer: Peer, usual: float) -> bool:
         """Whether a server is warm, or has its turn, from what a warm one is usually sent.
 
-        Turns begin anywhere, drawn from the seed, and end after a fall window: of hundreds of gateways that
-        turn to a cold server at one moment only so many hold one as the window bears.
+        Turns begin anywhere, by the seed, and end after a fall window: at any moment so few hold one as it bears.
         """
         s, part = self._settings, self._warm_part(now, peer)
         if part >= 1.0:
--- a/tests/test_random_settings.py
+++ b/tests/test_random_settings.py
@@ -228,3 +228,20 @@
         return got
 
     assert retries(3, 200) == retries(200, 200) < retries(3, 3)
+
+
+def test_a_known_customer_of_a_fleet_that_grows_is_sent_on_unheard_by_the_new_part() -> None:
+    """Each of 150 gateways kept a third of the quota, as one of three, while the counter was silent."""
+    plan = api.Plan("plain", rate=10.0, burst=60.0)
+
+    def sent(gateways: int, then: int) -> int:
+        made, got = gateway(gateways=gateways, plans=(plan,), has_counter=False), 0
+        made.handle(START, request("r0", spread=gateways))
+        made.retune(replace(made._settings, gateways=then, plans=(replace(plan),)))
+        for n in range(100):
+            for send in only(made.handle(START + 10 + n, request(f"x{n}", spread=then)), api.Send):
+                got += 1
+                made.handle(START + 10 + n, outcome(send, api.Verdict.OK, rtt=1.0))
+        return got
+
+    assert sent(3, 150) <= sent(150, 150) + 1 < sent(3, 3)
