Advise a wait at the limit of attempts out by the class's aim, not 100 ms at every customer's

A refusal for want of room already advises a tenth of the aim, as a bare figure: both go by the one now.

Test: two aims, 100 ms at both before.

--- a/martenstep/decide.py
+++ b/martenstep/decide.py
@@ -79,7 +79,7 @@
 HALF_OPEN = 5.0  # aims without a send, after which one goes though answers were slow: to see a recovery
 TRIAL = 1.0  # aims without a send to a server after which its queue is believed only on trial
 FIT_OF_AIM = 0.75  # a send must be expected to end within this part of the aim that is left
-OPEN_WAIT_MS = 100.0  # retry-after where the plan's limit of attempts out is reached: about one answer
+WAIT_OF_AIM = 0.1  # retry-after where no place is free, at the servers or of the plan: about one answer
 RETRY_SHARE = 0.1  # further attempts per first send: bounds the extra load when much fails at once, ...
 RETRY_CALM = 0.4  # ... while answers are slow; while they are quick there is room for more
 RETRY_SAVED = 40.0  # further attempts all gateways may save up for the loss of a server, besides one each
@@ -742,7 +742,7 @@
             return self._send(now, job)
         wait = led.quota.wait(now, event.units) if led.told or led.version else 0.0
         if led.plan.open_limit and led.open >= max(led.plan.open_limit * led.part(), 1.0):
-            wait = max(wait, OPEN_WAIT_MS)  # the others' attempts out are guessed by their part of the units
+            wait = max(wait, WAIT_OF_AIM * cls.aim_ms)  # the others' attempts out are guessed by their part of the units
         if wait > 0:
             return self._refuse(now, job, wait)
         if self._quota.spare(now, led, event.units):
@@ -856,7 +856,7 @@
         """The final answer: a refusal where a client's retry is certain to do no harm, else a failure."""
         if (job.first_risk is None or job.cls.effect is Effect.SAFE
                 or (job.cls.effect is Effect.KEYED and job.cls.group is Group.ALL)):
-            return self._refuse(now, job, job.cls.aim_ms * 0.1)
+            return self._refuse(now, job, WAIT_OF_AIM * job.cls.aim_ms)
         self._drop(job.request.id)
         return [Fail(job.request.id)]
 
--- a/tests/test_random_settings.py
+++ b/tests/test_random_settings.py
@@ -245,3 +245,12 @@
         return got
 
     assert sent(3, 150) <= sent(150, 150) + 1 < sent(3, 3)
+
+
+@pytest.mark.parametrize("aim", [200.0, 3000.0])
+def test_who_meets_the_limit_of_attempts_out_is_told_to_wait_by_the_aim(aim: float) -> None:
+    """It was 100 ms at every customer's."""
+    made = gateway(plans=(api.Plan("plain", 100.0, 100.0, open_limit=1),), has_counter=False,
+                   classes=(replace(SAFE, aim_ms=aim),))
+    assert len(only(made.handle(START, request("r0")), api.Send)) == 1
+    assert made.handle(START + 1, request("r1")) == [api.Refuse("r1", 0.1 * aim)]
