--- a/martenstep/decide.py
+++ b/martenstep/decide.py
@@ -66,7 +66,7 @@
 SILENT_OF_POOL = 0.75  # of the latency over all servers is expected at least: few answers tell of each
 SILENT_OF_AIM = 0.35  # and no less than this part of the aim, so that one long request is not silence
 COLD_SAFETY = 0.3  # part of a cold server's budget that is used: its size and the others' use are guesses
-WARM_LEAST = 0.3  # of the servers count as warm at least: what few warm ones are sent is no guide to their size
+WARM_LEAST = 0.3  # of the servers count as warm at least: few warm ones are sent more than they bear
 COLD_LEAST = 1.0  # sends of all gateways per fall window to a cold server while no usual load is known
 # Requests
 POOL_GAIN = 0.2  # weight of one answer in the latency of all servers together
@@ -129,7 +129,7 @@
 
     def take(self, units: float, since: float) -> None:
         """Push the TAT forward by units used since that time."""
-        if self.per_unit < math.inf:  # no rate: nothing to take from, and 0 x inf would pass every test from then on
+        if self.per_unit < math.inf:  # else 0 units come to no number, and that passes all tests
             self.tat = max(self.tat, since) + units * self.per_unit
         if self.half:
             self.half.take(units, since)
@@ -196,7 +196,7 @@
         return min(max((self.mine + unused) / self.plan.rate, LEAST_PART / self.spread), 1.0)
 
     def in_use(self, now: float) -> bool:
-        """Whether it is kept.  With a report to come it is: that would take a new entry's call, and lose who waits."""
+        """Whether it is kept.  With a report to come it is: else that would take a new entry's call."""
         idle = now - max(self.quota.tat, self.used)
         busy = self.asked or self.open or self.waiting or self.pending or self.flushing
         return bool(busy) or idle <= STALE_TOLERANCES * max(self.quota.tolerance, self.period_ms)
@@ -503,7 +503,7 @@
             return self._mean / max(peer.info.size, 0.1) / self._warm_part(now, peer), 0.0
         queue = max(peer.latency - peer.base, 0.0)
         queue *= math.exp((peer.timed - now) / max(QUEUE_TAU * self._aim, QUEUE_TIMES * queue))
-        # What is out there tells before it is answered; what a later one overtook is long or lost, and does not.
+        # What is out there tells before it is answered, but not what a later one overtook: long or lost.
         oldest = min((sent for sent in peer.out.values() if sent >= peer.newest), default=now)
         return peer.base, max(queue, now - oldest - peer.base)
 
@@ -519,12 +519,12 @@
         age = max(now - peer.info.started_ms, 0.0)  # by another clock, its start may lie ahead
         if peer.info.started_ms <= 0 or age >= s.warm_within_ms:
             return 1.0
-        return max(s.cold_from + (1 - s.cold_from) * age / s.warm_within_ms, 0.01)  # latencies are divided by it
+        return max(s.cold_from + (1 - s.cold_from) * age / s.warm_within_ms, 0.01)  # one divides by it
 
     def _may_warm(self, now: float, peer: Peer, usual: float) -> bool:
         """Whether a server is warm, or has its turn, from what a warm one is usually sent.
 
-        Turns begin anywhere, by the seed, and end after a fall window: at any moment so few hold one as it bears.
+        Turns begin anywhere, by the seed, and end after a fall window: so few hold one at any moment.
         """
         s, part = self._settings, self._warm_part(now, peer)
         if part >= 1.0:
@@ -550,7 +550,7 @@
         # What it has few answers of, it chooses by chance, with odds as 1/cost where it knows nothing.
         width, blur = self._width(now), self._blur(now)
         parts = [self._warm_part(now, p) for p in self._up]
-        # Cold ones without a turn are passed over: with few warm ones it meets the whole list, and so do all gateways.
+        # Cold ones without a turn are passed over: with few warm ones all gateways meet the whole list.
         met = min(width / max(parts.count(1.0), 1), 1.0)
         usual = self.send_rate(now) / max(1.0, min(width, sum(parts)), met * WARM_LEAST * len(parts))
         for peer in self._up:
@@ -576,7 +576,7 @@
         return None if best is None else (best[1].info, best[2])
 
     def trial(self, now: float, server: int) -> bool:
-        """Whether a queue held to be too long is tried again: where all are so held, nothing else would tell."""
+        """Whether a queue held to be too long is tried: where all are so held, nothing else would tell."""
         return now - self._peers[server].sent >= TRIAL * self._aim
 
     def sent(self, now: float, server: int, key: tuple[str, int]) -> None:
@@ -607,7 +607,7 @@
             gain = BASE_GAIN_DOWN if rtt < peer.base else BASE_GAIN_UP
             peer.base += max(gain, 1 / (peer.answers + BASE_PRIOR)) * (rtt - peer.base)
             peer.answers += 1
-            # A guess gives way to the first measure: mixed in, it would keep a server out that is seldom asked.
+            # A guess gives way to the first measure: mixed in, it would keep out who is seldom asked.
             peer.latency += (1.0 if peer.guessed else EWMA_GAIN) * (rtt - peer.latency)
             peer.guessed = False
             peer.timed = now
@@ -693,7 +693,7 @@
             case Left():
                 self._drop(event.id)
             case Started(id=rid) if (job := self._jobs.get(rid)) and job.server:
-                # The answer has begun: its rest tells nothing of the server's queue, nor takes of what servers bear.
+                # The answer has begun: its rest tells nothing of a queue, nor takes of what servers bear.
                 self._fleet._out -= 1
                 self._fleet._peers[job.server.id].out.pop((rid, len(job.attempts) - 1))
             case Members():
@@ -742,7 +742,7 @@
             return self._send(now, job)
         wait = led.quota.wait(now, event.units) if led.told or led.version else 0.0
         if led.plan.open_limit and led.open >= max(led.plan.open_limit * led.part(), 1.0):
-            wait = max(wait, WAIT_OF_AIM * cls.aim_ms)  # the others' attempts out are guessed by their part of the units
+            wait = max(wait, WAIT_OF_AIM * cls.aim_ms)  # the others' are guessed by their part of the units
         if wait > 0:
             return self._refuse(now, job, wait)
         if self._quota.spare(now, led, event.units):
@@ -810,8 +810,9 @@
         self._drop(job.request.id)
         return [Refuse(job.request.id, max(wait, 1.0))]
 
-    def _allowed(self, now: float, job: Job, risk: tuple[Server, float] | None) -> Where | Literal[False]:
-        """Which servers the class's rule on repeats leaves: a test, None for all, False for none."""
+    def _allowed(self, now: float, job: Job, out: tuple[Server, float] | None = None) -> Where | Literal[False]:
+        """Which servers the class's rule on repeats leaves, also behind what is out: a test, None for all, False."""
+        risk = job.first_risk or out
         if risk is None or job.cls.effect is Effect.SAFE:
             return None
         if job.cls.effect is Effect.UNSAFE or now >= risk[1] + job.cls.window_ms:
@@ -834,7 +835,7 @@
 
     def _send(self, now: float, job: Job) -> list[Action]:
         """Start an attempt where it can still be answered in time, else give the final answer."""
-        left, attempt, allowed = job.deadline - now, len(job.attempts), self._allowed(now, job, job.first_risk)
+        left, attempt, allowed = job.deadline - now, len(job.attempts), self._allowed(now, job)
         spent = attempt >= job.most or left <= self._settings.tick_ms
         chosen = None if allowed is False or spent else self._choose(now, job, allowed)
         if chosen is None:
@@ -888,9 +889,8 @@
         job = self._jobs.get(rid)
         if job is None or not job.server or len(job.attempts) != attempt + 1:
             return []
-        server = job.attempts[-1]
+        # Only where another attempt can follow, else work is wasted; at once: later it adds to the load.
         more = (self._retries >= 1 and len(job.attempts) < job.most
-                and self._allowed(now, job, job.first_risk or (job.server, now - patience)) is not False)
-        # Only where another attempt can follow, else work is wasted; at once, for later it only adds to the load.
-        silent = self._fleet.silent(now, server, (rid, attempt), patience)
+                and self._allowed(now, job, (job.server, now - patience)) is not False)
+        silent = self._fleet.silent(now, job.attempts[-1], (rid, attempt), patience)
         return [Cancel(rid, attempt)] if silent and more else []
