--- a/martenstep/decide.py
+++ b/martenstep/decide.py
@@ -810,9 +810,9 @@
         self._drop(job.request.id)
         return [Refuse(job.request.id, max(wait, 1.0))]
 
-    def _allowed(self, now: float, job: Job, out: tuple[Server, float] | None = None) -> Where | Literal[False]:
-        """Which servers the class's rule on repeats leaves, also behind what is out: a test, None for all, False."""
-        risk = job.first_risk or out
+    def _allowed(self, now: float, job: Job, out: float | None = None) -> Where | Literal[False]:
+        """Which servers the rule on repeats leaves (behind what is out since then): a test; None: all; False."""
+        risk = job.first_risk or (None if out is None or job.server is None else (job.server, out))
         if risk is None or job.cls.effect is Effect.SAFE:
             return None
         if job.cls.effect is Effect.UNSAFE or now >= risk[1] + job.cls.window_ms:
@@ -891,6 +891,6 @@
             return []
         # Only where another attempt can follow, else work is wasted; at once: later it adds to the load.
         more = (self._retries >= 1 and len(job.attempts) < job.most
-                and self._allowed(now, job, (job.server, now - patience)) is not False)
+                and self._allowed(now, job, now - patience) is not False)
         silent = self._fleet.silent(now, job.attempts[-1], (rid, attempt), patience)
         return [Cancel(rid, attempt)] if silent and more else []
