Hold nothing against discovery's new address that comes out of a pause

Seen: HostGroup._watch took back what the old address had caused (back-off, silences) only where the move cut a conversation short; out of a pause it read the new address with the old back-off. One 503 there, and the next call came after up to 3 s; after an outage the first call was held as a long one. A fault there was not logged where the old address had been complained of.

Change: move() itself forgets all of it; the watch only passes over the fault that the move has caused.

Test on sockets: out of a pause, then one 503 and one silent call at the new address (not heard within 4 s before, 1.3 s after). Beside it, without a fault found: a table of descriptors that is full for 20 s ends the watch for no longer than the longest pause. And for a stop and a move, too: this side's own close looks like an orderly one and ends no answer (both fail without the check behind the answer).

--- a/badgeryoke/host_group.py
+++ b/badgeryoke/host_group.py
@@ -227,6 +227,8 @@
         """Discovery is at another address: ask there for the whole list; until then the old one stands."""
         if address != self._address:
             self._address, self._version = address, None
+            # Nothing is known of the new address, nor against it.
+            self._back_off, self._silences, self._sure, self._complaint = BACK_OFF_S[0], 0, False, ""
             self._wake.set()  # it may be in a pause of seconds
             if self._stream is not None:
                 self._stream.close()
@@ -270,9 +272,7 @@
                 if self._stream is not None:
                     self._stream.close()
                     self._stream = None
-            if address != self._address:  # nothing is known of the new address, nor against it
-                self._back_off, self._silences, self._sure = BACK_OFF_S[0], 0, False
-            elif fault is not None and not self._stopped:
+            if fault is not None and address == self._address and not self._stopped:
                 self._sure = False
                 self._complain(f"{type(fault).__name__}: {fault}")
                 if self._loop.time() - self._began >= KNOWN_AFTER_S:
--- a/tests/test_discovery_answers.py
+++ b/tests/test_discovery_answers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import errno
 import json
 import socket
 import struct
@@ -13,7 +14,7 @@
 import pytest
 
 from badgeryoke import actor, host_group
-from badgeryoke.host_group import Response, Roster, read_roster
+from badgeryoke.host_group import HostGroup, Response, Roster, read_roster
 from martenstep.interface import Scope
 from tests.standins import HOST, Standin, config, entry, gateway, query, resp
 from tests.test_discovery_clock import Watching, play
@@ -317,3 +318,60 @@
                 assert members.scope is Scope.FULL and watching.groups[0].ready
 
     play(test)
+
+
+def changes(version: int, *told: dict[str, Any]) -> Act:
+    return well(json.dumps({"version": version, "full": False, "servers": told}).encode())
+
+
+LEFT = {"id": "a", "state": "left"}
+
+
+def test_nothing_is_held_against_a_new_address_that_comes_in_a_pause() -> None:
+    """What the old one had caused went on: a single 503 at the new one, and the next call came after 3 s."""
+    async def test() -> None:
+        async with Script(*[REFUSED] * 99) as agent, Script(REFUSED, slowly(LIST, 99.0), well(LIST)) as moved:
+            with Watching(agent.port, 1, of=200, draw=lambda: 1.0) as watching:
+                group = watching.groups[0]
+                while len(agent.answered) < 12:
+                    await asyncio.sleep(0.01)
+                await asyncio.sleep(0.1)
+                now = asyncio.get_running_loop().time()
+                group._silences = 9  # as an outage leaves it
+                group.move((HOST, moved.port))
+                await asyncio.sleep(4.0)
+                assert watching.heard[0][0][0] < now + 1.3
+
+    play(test)
+
+
+@pytest.mark.parametrize("ends", [HostGroup.stop, lambda group: group.move((HOST, 1))])
+def test_a_close_from_this_side_ends_no_answer(ends: Callable[[HostGroup], None]) -> None:
+    """It looks like an orderly one: what has come of the old list is not to be taken in."""
+    async def test() -> None:
+        async with Script(says(OK + b"\r\n" + LIST, apart=9.0)) as agent:
+            with Watching(agent.port, 1) as watching:
+                await asyncio.sleep(0.1)
+                ends(watching.groups[0])
+                await asyncio.sleep(0.5)
+                assert agent.connections == 1 and not watching.heard[0]
+
+    play(test)
+
+
+def test_the_watch_goes_on_where_descriptors_are_scarce_for_a_while(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        async with Script(well(LIST), says(), well(LATER)) as agent:
+            async def scarce() -> None:
+                with monkeypatch.context() as patch:
+                    patch.setattr(actor, "new_socket", lambda _: (_ for _ in ()).throw(OSError(errno.EMFILE, "")))
+                    await asyncio.sleep(20.0)
+
+            with Watching(agent.port, 1, of=200, draw=lambda: 1.0) as watching:
+                await asyncio.sleep(0.01)
+                await scarce()
+                since = asyncio.get_running_loop().time()
+                await asyncio.sleep(5.0)
+                assert watching.heard[0][1][0] < since + 3.1
+
+    play(test)
