Ask for the whole list where discovery tells changes up to an older version

Seen: HostGroup._converse took changes of any version and went on from it. A discovery that had begun anew counts from the start; what it had told before that answer was missed, and nothing ever said so. A whole list of an older version is taken as told, as before. An answer was also counted as good before it was known to be one (answered()).

Change: changes up to a version below the one asked from are a fault, and the next call is for the whole list.

Test on sockets: the changes were taken before; now a whole list follows.

--- a/badgeryoke/host_group.py
+++ b/badgeryoke/host_group.py
@@ -319,17 +319,18 @@
             if self._stopped or address != self._address:
                 return  # it has moved meanwhile: a list from there must not undo what the new one told
             roster = read_roster(ujson.loads(bytes(response.body)))
+            if not roster.full:
+                if self._version is None:
+                    raise ValueError("changes where the whole list was asked for")
+                if roster.version < self._version:
+                    self._version = None  # discovery counts anew: what lies between was missed
+                    raise ValueError("changes up to an older version")
             self.answered()
             self._sure = True
             if self._complaint:
                 self._complaint = ""
                 log.info("discovery answers again, version %d", roster.version)
-            if self._version is None and not roster.full:
-                raise ValueError("changes where the whole list was asked for")
-            if roster.full:
-                self._take(roster, Scope.FULL)
-            else:
-                self._take(roster, Scope.CHANGES)
+            self._take(roster, Scope.FULL if roster.full else Scope.CHANGES)
 
     async def _ask(self, stream: IOStream, call: bytes, begun: float, wait_s: float) -> Response:
         """One call, which may wait so long for its answer.
--- a/tests/test_discovery_answers.py
+++ b/tests/test_discovery_answers.py
@@ -327,6 +327,19 @@
 LEFT = {"id": "a", "state": "left"}
 
 
+def test_changes_up_to_an_older_version_are_of_another_count() -> None:
+    """Discovery began anew: what came between was missed, and nothing ever told so."""
+    async def test() -> None:
+        async with Script(well(LIST), changes(3, LEFT), well(LATER), changes(8)) as agent:
+            with Watching(agent.port, 1) as watching:
+                await asyncio.sleep(1.0)
+                assert [m.scope for _, m in watching.heard[0]] == [Scope.FULL, Scope.FULL]
+                assert [call[2].partition("?")[2].partition("&")[0] for call in agent.calls[:5]] == [
+                    "", "after=7", "", "after=8", "after=8"]
+
+    play(test)
+
+
 def test_nothing_is_held_against_a_new_address_that_comes_in_a_pause() -> None:
     """What the old one had caused went on: a single 503 at the new one, and the next call came after 3 s."""
     async def test() -> None:
