Keep calls at discovery 20 ms apart, where its agent waits for nothing

Seen: an agent that answers a watch at once, with nothing new or the whole list, or closes behind each answer, was asked again without end: 2,002 calls with no time passing in HostGroup._converse, a core here and there.

Change: a call begins 0.02 s after the one before it at the earliest.

--- a/badgeryoke/host_group.py
+++ b/badgeryoke/host_group.py
@@ -39,6 +39,7 @@
 # With no list at all a process turns clients away at once, where one that is not ready leaves them to other
 # gateways.  But it has to be ready within 10 s of its start, and the start itself may take half of that.
 READY_AFTER_S = 5.0
+APART_S = 0.02  # from one call to the next, where an agent waits for nothing or closes behind each answer
 BACK_OFF_S = (0.02, 0.15)  # before the next connection: at first, and at most where gateways are few
 # Discovery is one service for all gateways: what all of them ask again in a second must not grow with them.
 EACH_S = 0.05  # of the longest back-off, for each gateway of the fleet
@@ -188,7 +189,7 @@
         self._stream: IOStream | None = None
         self._complaint = ""
         self._stopped = False
-        self._began = 0.0
+        self._began, self._called = 0.0, -math.inf
         self.ready = False  # clients may come: some list is known, or none has come for long
 
     def start(self) -> None:
@@ -311,6 +312,8 @@
             wait_ms = WAIT_MS if self._sure or self._silences > SHORT_TRIES else PROBE_MS
             if self._version is None:
                 wait_ms = min(wait_ms, WHOLE_MS)
+            await asyncio.sleep(max(self._called + APART_S - self._loop.time(), 0.0))
+            self._called = self._loop.time()
             # After a lost connection the watch goes on from the version held: what was missed comes first.
             query = "" if self._version is None else f"?after={self._version}&wait_ms={wait_ms}"
             call = f"GET {PATH}{query} HTTP/1.1\r\nHost: {address[0]}:{address[1]}\r\n\r\n"
--- a/tests/test_discovery_answers.py
+++ b/tests/test_discovery_answers.py
@@ -340,6 +340,19 @@
     play(test)
 
 
+@pytest.mark.parametrize("act", [well(LIST), well(LIST, keep=False), changes(7), changes(3)])
+def test_an_agent_that_waits_for_nothing_is_not_asked_without_end(act: Act) -> None:
+    """The next call followed at once: a core for discovery alone, here and there."""
+    async def test() -> None:
+        async with Script(well(LIST), *[act] * 2000) as agent:
+            with Watching(agent.port, 1):
+                await asyncio.sleep(1.0)
+                assert len(agent.calls) <= 52
+                assert agent.acts
+
+    play(test)
+
+
 def test_nothing_is_held_against_a_new_address_that_comes_in_a_pause() -> None:
     """What the old one had caused went on: a single 503 at the new one, and the next call came after 3 s."""
     async def test() -> None:
