Take an answer that has come while the machine stood still, however late its time is over by then

Seen: a process that is not run for longer than an answer's limit finds both in one turn, the answer and the limit's end. The read is over, and asyncio.timeout still cancels the task that has yet to be resumed (HostGroup._ask, the dial): the answer was thrown away. Later the next call makes up for it in 0.05 s; a process that has just started went by its old list meanwhile, and could send to a server that its agent had told it was draining.

Change: _within waits for the dial, the write and each piece, looks whether it has come, and only then at the time. A call that cannot be written is given up after 1.0 s.

Test on sockets, with the clock set on behind the answer: the old list was taken before, discovery's is now. The test of an end that crosses a lost connection passes as before.

--- a/badgeryoke/host_group.py
+++ b/badgeryoke/host_group.py
@@ -13,9 +13,9 @@
 import contextlib
 import logging
 import math
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, TypeVar
 
 import httptools
 import ujson
@@ -25,13 +25,14 @@
 from martenstep.interface import Members, Scope, Server, State
 
 log = logging.getLogger("badgeryoke.host_group")
+T = TypeVar("T")
 
 PATH = "/api/targets"
 # How long a watch may wait: short, so that one that has died in silence is found out 2 s before the clock runs out.
 WAIT_MS = 3000
-PROBE_MS = 100  # the same on a new connection: its first answer tells that somebody is there
-WHOLE_MS = 1000  # the same for the whole list, which need not wait for anything: an agent may be slow, ...
-SILENT_S = 1.0  # ... but nothing for this long after that, or while dialling, is silence: the connection is given up
+PROBE_MS = 100  # the same behind a fault: the first answer tells that somebody is there
+WHOLE_MS = 1000  # and this long at most for the whole list, which need not wait for anything
+SILENT_S = 1.0  # nothing for this long after that, or while dialling, is silence: the connection is given up
 WHOLE_S = 1.8  # and this long after it, on a new connection from the dialling on, the answer has to be whole
 # What the agent holds counts as told from a process' first moment, so the list known at the start is gone by only
 # behind a try that failed after this time: one that was silent to its end, or the last of several that were lost.
@@ -136,6 +137,10 @@
             raise ValueError(f"no HTTP response: {fault.__context__ or fault}") from None
         return self._whole
 
+    @property
+    def begun(self) -> bool:
+        return self._read > 0
+
     def ended(self) -> bool:
         """The other side has closed in good order: whether that was the end of the response."""
         self.keep = False
@@ -169,6 +174,18 @@
             self._whole, self.keep = True, self._parser.should_keep_alive()
 
 
+async def _within(seconds: float, what: Awaitable[T]) -> T:
+    """What has come in time, or raises TimeoutError.
+
+    A machine that was late for longer finds both at once, the time over and what has come: that is no silence.
+    asyncio.timeout would throw it away, and wait_for an end of the task that crosses a fault."""
+    future = asyncio.ensure_future(what)
+    await asyncio.wait((future,), timeout=seconds)
+    if not future.done():
+        raise TimeoutError
+    return future.result()
+
+
 class HostGroup(Actor):
     """Keeps the list, and tells of each change: the module's members, and who is at which address."""
 
@@ -304,8 +321,7 @@
         begun = self._loop.time()
         stream, coming_up = dial(address, MAX_BODY + MAX_HEAD)
         self._stream = stream
-        async with asyncio.timeout(SILENT_S):
-            await coming_up
+        await _within(SILENT_S, coming_up)
         keep = True
         while keep and not self._stopped and address == self._address:
             # Silences behind one another: there may be nobody, or one who is slow.
@@ -342,16 +358,16 @@
         SILENT_S to come in, as long as the whole is in time."""
         due, last = self._loop.time() + wait_s + SILENT_S, begun + wait_s + WHOLE_S
         response, whole = Response(), False
-        async with asyncio.timeout_at(min(due, last)) as limit:  # wait_for would lose an end that crosses a fault
-            await stream.write(call)
-            while not whole:
-                try:
-                    whole = response.feed(await stream.read_bytes(READ_CHUNK, partial=True))
-                except StreamClosedError as end:
-                    if end.real_error is not None or not response.ended():  # a reset is no end
-                        raise
-                    break
-                limit.reschedule(min(max(due, self._loop.time() + SILENT_S), last))
+        await _within(SILENT_S, stream.write(call))
+        while not whole:
+            until = min(max(due, self._loop.time() + SILENT_S), last) if response.begun else min(due, last)
+            try:
+                whole = response.feed(await _within(until - self._loop.time(),
+                                                    stream.read_bytes(READ_CHUNK, partial=True)))
+            except StreamClosedError as end:
+                if end.real_error is not None or not response.ended():  # a reset is no end
+                    raise
+                break
         return response
 
     def _complain(self, text: str) -> None:
--- a/tests/test_discovery_answers.py
+++ b/tests/test_discovery_answers.py
@@ -219,7 +219,7 @@
                 await asyncio.sleep(0.05)
                 stream: Any = watching.groups[0]._stream
                 stream.write = lambda _: asyncio.get_running_loop().create_future()
-                await asyncio.sleep(5.0)
+                await asyncio.sleep(2.0)
                 assert [call[1] for call in agent.calls] == [1, 1, 2]
 
     play(test)
@@ -272,6 +272,17 @@
             response.feed(again)
 
 
+def late(body: bytes, seconds: float) -> Act:
+    """Both machines stand still behind the answer: it and the time's end are there in one turn."""
+    async def act(writer: asyncio.StreamWriter) -> bool:
+        await well(body)(writer)
+        loop: Any = asyncio.get_running_loop()
+        loop.passed += seconds
+        return True
+
+    return act
+
+
 REFUSED = says(b"HTTP/1.1 503 No room\r\nContent-Length: 0\r\n\r\n", keep=True)
 OLD = Roster(3, True, read_roster(json.loads(LIST)).hosts)
 DRAINS = json.dumps({"version": 9, "full": True, "servers": [entry("a", 1, "leaving")]}).encode()
@@ -307,7 +318,7 @@
 
 @pytest.mark.parametrize("acts", [
     [slowly(DRAINS, 0.1, 0.6)], [slowly(DRAINS, 1.7)], [resets(b"", 0.0), resets(b"", 0.0), well(DRAINS)],
-    [REFUSED, well(DRAINS)], [says(DRAINS), says(), well(DRAINS)]])
+    [REFUSED, well(DRAINS)], [says(DRAINS), says(), well(DRAINS)], [late(DRAINS, 2.0)]])
 def test_what_an_agent_holds_goes_before_the_list_known_at_the_start(acts: list[Act]) -> None:
     """Half a second, or one lost connection, and a fresh process sent by its old list to a server that drains."""
     async def test() -> None:
