Look at a connection's idle time at each use, not only once a second

Ruled out: a close that is in the socket already is seen by the look before each write. At fault: RespServerLink._rested.

Tests: an attempt takes a new connection and the old one is closed; failed before. Another shows what was right already or since the loop over those that wait: a query whose client left in the link's mailbox, on a connection on its way up or while the counter was asked is not sent on.

--- a/badgeryoke/resp/server_link.py
+++ b/badgeryoke/resp/server_link.py
@@ -205,14 +205,15 @@
                 execution.moot("too late to be sent")
 
     def _rested(self) -> _Connection | None:
-        """An idle connection that is sound and has rested: the last used of them."""
+        """An idle connection that is sound and has rested: the last used of them, unless its server may be closing
+        even that."""
         if self.lease is not None and not self.lease.held():
             return None
-        before = self._loop.time() - REST_S
+        before, since = self._loop.time() - REST_S, self._clock() - self._idle_ms
         for place in reversed(range(len(self._idle))):
             if self._idle[place].answered_at <= before:
                 connection = self._idle.pop(place)
-                if self._sound(connection):
+                if connection.used_at >= since and self._sound(connection):
                     return connection
                 connection.stream.close()
         return None
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -25,9 +25,9 @@
 from martenstep import interface as api
 from martenstep.decide import Gateway
 from martenstep.interface import Verdict
-from tests.standins import HOST, NOW_MS, settings
+from tests.standins import HOST, NOW_MS, Counter, connect, one_gateway, query, settings
 from tests.test_core import KEYED, UNSAFE, NoCounter
-from tests.test_front import play
+from tests.test_front import ask, play
 from tests.test_service import until
 
 LINGER_0 = struct.pack("ii", 1, 0)
@@ -224,6 +224,64 @@
     play(test)
 
 
+@pytest.mark.parametrize("where", ["mailbox", "connection on its way up", "counter"])
+def test_a_query_that_waits_is_not_sent_on_once_its_client_has_left(where: str) -> None:
+    async def counted() -> None:
+        async with Counter() as counter, one_gateway(counter=counter.port) as (app, backend, _):
+            _, writer = await connect(app.address)
+            counter.held.clear()
+            writer.write(query("r1"))
+            await until(lambda: counter.units)
+            writer.transport.abort()
+            await until(lambda: not app.core.unanswered and not app._front.links)
+            counter.held.set()
+            assert await ask(app, query("r2")) == [b"value"]
+            assert [command[2] for command in backend.commands] == [b"r2"]
+
+    async def dialled() -> None:
+        async with node() as at:
+            real, up = at.link.opened, asyncio.Event()
+
+            def opened(connection: Any) -> None:
+                asyncio.ensure_future(up.wait()).add_done_callback(lambda _: at.link.deliver(real, connection))
+
+            at.link.opened = opened  # type: ignore[method-assign]
+            one = at.start("r1")
+            made = await at.accept()
+            one.abandon(Verdict.CANCELLED, final=True)
+            up.set()
+            await until(lambda: at.link._idle)
+            at.start("r2")
+            assert b"r1" not in await read(made, b"r2")
+
+    async def mailbox() -> None:
+        async with node() as at:
+            made = await at.idle()
+            asked = Query("r1", "once", "plain", 7, 60_000.0, 1.0, 2, safe=False)
+            one = Execution(asked, 0, 1, at.now, at.now + 60_000.0, at._ended)
+            at.link.start(one)
+            one.abandon(Verdict.CANCELLED, final=True)
+            at.start("r2")
+            assert b"r1" not in await read(made, b"r2")
+
+    play({"mailbox": mailbox, "connection on its way up": dialled, "counter": counted}[where])
+
+
+def test_a_connection_is_not_used_when_its_server_may_be_closing_it() -> None:
+    """Only the sweep looked at how long it had been idle, once a second: with a short idle time, or a late event loop,
+    a request was written into the close, and ended as a reset that may have run."""
+
+    async def test() -> None:
+        async with node() as at:
+            old = await at.idle()
+            at.now += 30_001.0  # over half of the time after which the server closes it
+            at.start("r2")
+            new = await at.accept()
+            assert b"r2" in await read(new, b"r2") and await read(old, b"r2") == b""
+
+    play(test)
+
+
 def test_nothing_is_opened_for_a_client_that_has_left() -> None:
     """It left between the decision and the link's turn: a connection was dialled for nobody, or one at rest counted
     as just used, and was kept beyond the time after which servers close it."""
