Use idle connections again when their lease is back, before new ones are opened

Seen while reading the wait for resting connections: attempts that came while no lease was held count on the idle connections, and open no new ones; the lease's return opened what was missing and looked at no idle one, so that they waited out their time for a connection. At fault: RespServerLink.grown.

Test: an attempt waits without a lease beside an idle connection, and is written to it when the lease is back; failed before.

--- a/badgeryoke/resp/server_link.py
+++ b/badgeryoke/resp/server_link.py
@@ -479,7 +479,11 @@
 
     def grown(self) -> None:
         """See badgeryoke.fleet.pools.Link."""
-        self.post(self._open)
+        self.post(self._grown)
+
+    def _grown(self) -> None:
+        self._serve()  # idle connections may be used again
+        self._open()
 
     def drain(self) -> None:
         """The backend wants nothing new: what is written is waited for, nothing more is written."""
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -12,6 +12,7 @@
 import struct
 import time
 from collections.abc import AsyncIterator, Callable
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
@@ -390,6 +391,21 @@
     play(test)
 
 
+def test_an_idle_connection_is_used_when_its_lease_is_back() -> None:
+    """Attempts that waited while no lease was held counted on it, and nobody looked again."""
+
+    async def test() -> None:
+        async with node() as at:
+            made = await at.idle()
+            lease = at.link.lease = SimpleNamespace(held=lambda: False, may_open=lambda: False, surplus=0)  # type: ignore
+            at.start("r2")
+            lease.held = lambda: True
+            at.link.grown()
+            assert b"r2" in await read(made, b"r2") and await at.accepts_none()
+
+    play(test)
+
+
 def test_without_a_descriptor_those_that_wait_are_told_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
     def none(address: tuple[str, int]) -> socket.socket:
         raise OSError(errno.EMFILE, "too many open files")
