Force the loss in the test of a peer that does not read, in place of waiting for three connections

Seen at a load of 18 with two runs side by side: test_a_peer_that_does_not_read_or_answer_is_dropped... [False] failed once in two runs, nothing lost. It sent one message a turn until three connections had come, some 0.2 s each: with slow turns all that waited went into the socket's buffers, and the bound was never reached. Ruled out: the links. What is in a batch when its connection ends is not counted as lost, as before. At fault: tests/test_fleet_links.py, the loop of that test, which let time decide how much waits. Change: the bound is 200 kB, and each turn sends 250 kB before anything can go out. As strict as before: the bound is checked in every turn, and something has to be lost at it. Test: without the bound on bytes it fails in the first turn; three runs beside another file pass.

--- a/tests/test_fleet_links.py
+++ b/tests/test_fleet_links.py
@@ -233,17 +233,20 @@
 
 @pytest.mark.parametrize("reads", [False, True])
 def test_a_peer_that_does_not_read_or_answer_is_dropped_and_holds_up_nobody(reads: bool) -> None:
+    """More than the bound is sent in each turn, so that something is lost however slow the turns are."""
     async def test() -> None:
-        async with pair() as (here, there), Silent(reads) as silent:
+        bounds = replace(SOON, most_bytes=200_000)
+        async with pair(bounds=bounds) as (here, there), Silent(reads) as silent:
             here.links.peers["c"] = Peer("c", (HOST, silent.port))
             sent = 0
             while silent.connections < 3:
-                here.links.send("c", PING if reads else big(50_000))
+                for _ in range(5):
+                    here.links.send("c", PING if reads else big(50_000))
                 here.links.send("b", PING)
                 sent += 1
                 await asyncio.sleep(0.001)
                 peer = here.links.peers["c"]
-                assert peer.count <= SOON.most_messages and peer.size <= SOON.most_bytes
+                assert peer.count <= bounds.most_messages and peer.size <= bounds.most_bytes
             await until(lambda: len(there.got) == sent)
             assert (here.links.peers["c"].lost > 0 or reads) and here.links.peers["b"].lost == 0 and not here.errors
 
