--- a/martenstep/decide.py
+++ b/martenstep/decide.py
@@ -811,7 +811,7 @@
         return [Refuse(job.request.id, max(wait, 1.0))]
 
     def _allowed(self, now: float, job: Job, out: float | None = None) -> Where | Literal[False]:
-        """Servers that the rule on repeats leaves, behind what is out since then as well; None: all, False: none."""
+        """Servers that the rule on repeats leaves, behind what is out since: all if None, none if False."""
         risk = job.first_risk or (None if out is None or job.server is None else (job.server, out))
         if risk is None or job.cls.effect is Effect.SAFE:
             return None
