Take addresses by IP alone, and no figure of a list that a float cannot hold

Seen: a known list with a number of 400 digits ended the start in a traceback (math.isfinite raises OverflowError), and at SIGHUP got past the refusal of a faulty file. A name as address was looked up within a turn of the event loop, where there is no DNS; one with a NUL raised TypeError out of the dialling. A bad address in a list was told without its key. Ruled out: discovery's own lists (the watch goes on behind any exception). At fault: host_group._number, split_address and read_roster. The fleet's own reading of an address is the same now and gone. The operators' readiness asks whether a list is known, since PING says yes 5 s after a start without one. test_parsers.py: seven new cases fail before, all pass now; test_service, test_fleet_service, test_handover, test_operations and test_fleet pass with it (259).

--- a/badgeryoke/fleet/service.py
+++ b/badgeryoke/fleet/service.py
@@ -22,8 +22,9 @@
 
 from badgeryoke.fleet.calls import STATUS, line_of, read_call
 from badgeryoke.fleet.links import Links
-from badgeryoke.fleet.settings import Fleet, address
+from badgeryoke.fleet.settings import Fleet
 from badgeryoke.fleet.store import HELD, Disk, StoreWriter, open_store
+from badgeryoke.host_group import split_address
 from fleet.errors import Crowded, FleetError, InvariantBroken, NoLeader, StoreFailed, UnknownOutcome
 from fleet.events import (
     Call,
@@ -167,7 +168,8 @@
             setup = replace(setup, idle_ms=self.pools.idle_ms)
         self._force(opened, setup.id)
         self._writer = StoreWriter(opened, self._loop.call_soon_threadsafe, self._stored, self._store_broke)
-        self.links = Links(self.fleet.name, setup.id, {one.name: address(one.address) for one in self.fleet.members},
+        addresses = {one.name: split_address(one.address) for one in self.fleet.members}
+        self.links = Links(self.fleet.name, setup.id, addresses,
                            self._received, self._link_error, Random(secrets.randbits(64)))
         self.node = self._make(setup, opened.saved, Random(secrets.randbits(64)), self._now(), self.wall(), self.rules)
         opened.saved = {}  # the node's own from here on
@@ -189,7 +191,7 @@
 
     async def _bind(self) -> list[socket.socket]:
         """Listen on the own member's address, as soon as it is free."""
-        host, port = address(next(one.address for one in self.fleet.members if one.name == self.me))
+        host, port = split_address(next(one.address for one in self.fleet.members if one.name == self.me))
         waits = False
         while not self._ended:
             try:
--- a/badgeryoke/fleet/settings.py
+++ b/badgeryoke/fleet/settings.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import importlib.util
-import ipaddress
 import re
 from collections import Counter
 from typing import Any
@@ -26,7 +25,7 @@
 
     name: str
     hall: str
-    address: str  # HOST:PORT of the fleet's own links; the own one is listened on
+    address: str  # IP:PORT of the fleet's own links; the own one is listened on
 
 
 class Servers(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -54,13 +53,6 @@
     forced: dict[str, tuple[str, ...]] = msgspec.field(default_factory=dict)
 
 
-def address(text: str) -> tuple[str, int]:
-    """HOST:PORT with an IP address: names are not looked up, which would hold up the loop.  Raises ValueError."""
-    host, port = split_address(text)
-    ipaddress.ip_address(host)
-    return host, port
-
-
 def read_fleet(raw: dict[str, Any]) -> tuple[Fleet | None, list[str]]:
     """The section as read, and its faults, each with its key."""
     shown = {**raw, "members": []}
@@ -107,7 +99,7 @@
         found += [f"{path}.{kind}: {getattr(one, kind)!r} stands twice"
                   for kind, those in twice.items() if those[getattr(one, kind)] > 1]
         try:
-            address(one.address)
+            split_address(one.address)
         except ValueError:
             found.append(f"{path}.address: expected IP:PORT, got {one.address!r}")
     if made.me and made.me not in twice["name"]:
--- a/badgeryoke/gateway.py
+++ b/badgeryoke/gateway.py
@@ -312,7 +312,7 @@
         """Whether this process can serve: an ending one cannot, a drained one could."""
         if self._drain.ending:
             return False, self._drain.state.value
-        if not self._hosts.ready:
+        if not self._hosts.listed:
             return False, "no list of servers yet"
         return self._listening, self._drain.state.value if self._listening else "taking over"
 
--- a/badgeryoke/host_group.py
+++ b/badgeryoke/host_group.py
@@ -11,6 +11,7 @@
 
 import asyncio
 import contextlib
+import ipaddress
 import logging
 import math
 from collections.abc import Awaitable, Callable
@@ -54,6 +55,7 @@
 AGAIN_S = 0.05  # the next try lies anywhere in this time
 SHORT_TRIES = 2
 MAX_HEAD, MAX_BODY = 16 * 1024, 4 * 1024 * 1024
+MOST_NUMBER = 1e15  # of any figure: whole ones are exact up to there, and a JSON number has no bound of its own
 MAX_READ = 2 * MAX_BODY  # with the sizes of chunks and what follows the last: no read waits where more lies ready
 STATES = {"active": State.UP, "leaving": State.DRAINING, "left": State.GONE}
 
@@ -82,16 +84,21 @@
 
 
 def split_address(text: str) -> tuple[str, int]:
-    """HOST:PORT; raises ValueError."""
-    host, colon, port = text.rpartition(":")
-    if not colon or not host or not port.isdigit() or not 0 < int(port) < 65536:
-        raise ValueError(f"expected HOST:PORT, got {text[:64]!r}")
-    return host.strip("[]"), int(port)
+    """IP:PORT; raises ValueError.  A name would be looked up within a turn of the event loop, and there is no DNS."""
+    host, _, port = text.rpartition(":")
+    host = host.removeprefix("[").removesuffix("]")
+    try:
+        ipaddress.ip_address(host)
+        if not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
+            raise ValueError
+    except ValueError:
+        raise ValueError(f"expected IP:PORT, got {text[:64]!r}") from None
+    return host, int(port)
 
 
 def _number(entry: dict[str, Any], name: str, default: float) -> float:
     value = entry.get(name, default)
-    if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
+    if isinstance(value, bool) or not isinstance(value, int | float) or not -MOST_NUMBER <= value <= MOST_NUMBER:
         raise ValueError(f"{name}: expected a number")
     return float(value)
 
@@ -108,7 +115,10 @@
         if not isinstance(entry.get("id"), str) or not isinstance(state, str) or state not in STATES:
             raise ValueError("servers: id or state missing or unknown")
         gone = state == "left" and "addr" not in entry
-        address = ("", 0) if gone else split_address(str(entry.get("addr")))
+        try:
+            address = ("", 0) if gone else split_address(str(entry.get("addr")))
+        except ValueError as fault:
+            raise ValueError(f"servers: addr: {fault}") from None
         hosts.append(Host(entry["id"], address, str(entry.get("zone", "")), str(entry.get("kind", "")),
                           int(_number(entry, "cell", 0)), STATES[state], _number(entry, "weight", 1.0),
                           _number(entry, "started_ms", 0)))
@@ -208,6 +218,7 @@
         self._stopped = False
         self._began, self._called = 0.0, -math.inf
         self.ready = False  # clients may come: some list is known, or none has come for long
+        self.listed = False  # some list is known
 
     def start(self) -> None:
         """Ask discovery, and go by the list known at the start where it does not answer."""
@@ -274,7 +285,7 @@
         if len(self._numbers) > 64 + 4 * len(self._hosts):  # forget the names of what is long gone
             self._numbers = {name: n for name, n in self._numbers.items() if n in self._hosts}
         if whole or servers:
-            self.ready = True
+            self.ready = self.listed = True
             self._changed(Members(scope, tuple(servers)), dict(self._hosts))
 
     async def _watch(self) -> None:
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -104,7 +104,7 @@
 
 
 @pytest.mark.parametrize(("mgmt", "words"), [
-    ("nowhere", "mgmt: expected HOST:PORT"), (f"{HOST}:6379", "mgmt: the same address as listen")])
+    ("nowhere", "mgmt: expected IP:PORT"), (f"{HOST}:6379", "mgmt: the same address as listen")])
 def test_a_faulty_second_address_names_its_key(mgmt: str, words: str, tmp_path: Path) -> None:
     raw = {"listen": f"{HOST}:6379", "discovery": f"{HOST}:1", "counter": f"{HOST}:1", "settings": PARAMS}
     path = tmp_path / "config.json"
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -109,6 +109,10 @@
     {"servers": [{**entry("a", 1), "addr": "nowhere"}]}, {"servers": [{**entry("a", 1), "weight": "x"}]},
     {"servers": [{**entry("a", 1), "state": []}]},
     {"servers": [{**entry("a", 1), "started_ms": True}]}, {"version": "1", "servers": []},
+    # What floats cannot hold, and names, which would be looked up in the event loop, or are none.
+    {"servers": [{**entry("a", 1), "weight": 10 ** 400}]}, {"servers": [{**entry("a", 1), "addr": "runner:80"}]},
+    {"servers": [{**entry("a", 1), "addr": "a\0b:80"}]},
+    {"servers": [{**entry("a", 1), "addr": "127.0.0.1:\u0663"}]},
 ])
 def test_a_malformed_list_is_told(raw: Any) -> None:
     with pytest.raises(ValueError):
@@ -196,8 +200,11 @@
 
 @pytest.mark.parametrize(("change", "key"), [
     ({"listen": "x"}, "LB_LISTEN"), ({"discovery": None}, "LB_DISCOVERY"), ({"counter": None}, "counter"),
-    ({"counter": "a:b"}, "counter"), ({"seed": "xyz"}, "seed"), ({"limits": 3}, "limits"),
+    ({"counter": "a:b"}, "counter"), ({"counter": "localhost:80"}, "counter: expected IP:PORT"),
+    ({"seed": "xyz"}, "seed"), ({"limits": 3}, "limits"),
     ({"limits": {"sockets": "many"}}, "limits.sockets"), ({"known": {"servers": 1}}, "known.servers"),
+    ({"known": {"servers": [{**entry("a", 1), "addr": "x"}]}}, "known.servers: addr: expected IP:PORT"),
+    ({"known": {"version": 10 ** 400, "servers": []}}, "known.version"),
     ({"settings": None}, "settings"), ({"settings": {**PARAMS, "me": None}}, "setting me: expected a number"),
     ({"settings": {k: v for k, v in PARAMS.items() if k != "rules"}}, "rules"),
     ({"settings": {**PARAMS, "policy_limits": {**PARAMS["policy_limits"], "conn_idle_ms": 0}}},
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -85,7 +85,7 @@
 
 def test_a_faulty_configuration_is_not_taken_on_reload(caplog: pytest.LogCaptureFixture) -> None:
     def faulty() -> Config:
-        raise ConfigError("counter: expected HOST:PORT, got 'nowhere'")
+        raise ConfigError("counter: expected IP:PORT, got 'nowhere'")
 
     async def test() -> None:
         async with Backend() as node, Discovery(entry("a", node.port)) as list_:
@@ -98,7 +98,7 @@
             await app.done.wait()
 
     play(test)
-    assert "counter: expected HOST:PORT" in caplog.text
+    assert "counter: expected IP:PORT" in caplog.text
 
 
 def test_the_program_takes_up_a_new_file_on_sighup(tmp_path: Path) -> None:
@@ -126,7 +126,7 @@
             heard("listens on")
             path.write_text(json.dumps({**raw, "counter": "nowhere"}))
             process.send_signal(signal.SIGHUP)
-            heard("reload: configuration: counter: expected HOST:PORT")
+            heard("reload: configuration: counter: expected IP:PORT")
             path.write_text(json.dumps({**raw, "discovery": f"{HOST}:{discovery.getsockname()[1]}"}))
             process.send_signal(signal.SIGHUP)
             called, _ = discovery.accept()
