Count the time for the last answers from the first SIGTERM, whatever went before it

TIME_END took drain_s off the time until SIGKILL, which is right only where the drain has been waited for: a process whose successor serves already closes at once on SIGTERM and gave its queries up 0.45 s early. The time of the first SIGTERM is kept and counted from.

--- a/badgeryoke/gateway.py
+++ b/badgeryoke/gateway.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 import os
 import random
 import signal
@@ -102,6 +103,7 @@
                 self._diameter = DiameterFront(second, config.settings, self._me, self.core, loop,
                                                self._clock, int(config.sockets * DIAMETER_PART))
         self._drain = Drain()
+        self._term_at = math.inf  # of the first SIGTERM
         self._management: ManagementFront | None = None
         self._giver: Giver | None = None
         self.fleet: Service | None = None
@@ -375,6 +377,7 @@
                 if self._pools is not None:
                     self._pools.leave()
                 self._leaving = asyncio.ensure_future(self.fleet.leave())
+        self._term_at = min(self._term_at, self._loop.time())
         self._drained(Event.TERM)
 
     def _drained(self, event: Event, round_: int | None = None) -> None:
@@ -408,7 +411,7 @@
             case Effect.TIME_END:
                 longest_ms = max((cls.deadline_ms for cls in self._config.settings.classes), default=0.0)
                 most = min(longest_ms / 1000.0, KILL_COUNTS_S) + KILL_MARGIN_S
-                left_s = max(most - self._config.drain_s, 0.0)
+                left_s = max(self._term_at + most - self._loop.time(), 0.0)
                 self._loop.call_later(left_s, self._front.refuse_rest)
                 self._loop.call_later(left_s, self._wait_no_longer)
                 self._await_end()
