Ask whether the client has left before a full piece of its bytes is taken

A client that sent much and went had its first 4 KiB decided on before the first look behind a piece; with many such clients at once each cost its turn. The look comes before the turn now, and once for a piece.

--- a/badgeryoke/resp/client_link.py
+++ b/badgeryoke/resp/client_link.py
@@ -100,6 +100,8 @@
 
 def _hung_up(stream: IOStream) -> bool:
     """Whether a client has ended its sending, however much lies unread before that end."""
+    if stream.closed():  # it still gives what it has read
+        return True
     look = select.poll()
     look.register(stream.socket, select.POLLRDHUP)
     return bool(look.poll(0))
@@ -199,6 +201,8 @@
                 if self._ending and self._stream.reading():
                     self.post(self._moved)  # nothing is in hand any more
                 data = await reading
+                if len(data) >= READ_AT_ONCE and _hung_up(self._stream):
+                    self._stream.close()  # what it sent before it left is of no use to anybody
                 self._taking = True
                 self.deliver(self._take, data)
                 self._taking = False
@@ -208,14 +212,12 @@
             pass
 
     async def _pause(self) -> None:
-        """Much has come at once: let others have their turn, and go on when there is room.  What the client sent
-        before it left is of no use to anybody, so its leaving must not wait until that is read."""
+        """Much has come at once: let others have their turn, and go on when there is room.  That the client has
+        left must not wait until what it sent before is read."""
         await asyncio.sleep(0)
-        while not self._stream.closed():
+        while self._held_back and not self._stream.closed():
             if _hung_up(self._stream):
                 self._stream.close()
-            if not self._held_back:
-                return
             self._room.clear()
             timer = self._loop.call_later(LOOK_S, self._room.set)
             await self._room.wait()
