--- a/tests/test_client_ends.py
+++ b/tests/test_client_ends.py
@@ -237,6 +237,20 @@
     play(test)
 
 
+def test_what_crosses_our_end_is_not_sent_on() -> None:
+    """It is read so that no close comes over it and takes the last answer along; its client sends it again."""
+    async def test() -> None:
+        async with one_gateway() as (app, node, _):
+            made, link = await linked(app)
+            link.end()
+            app._loop.run()
+            assert link._finished
+            made.sendall(query("crossing"))
+            assert await answers(made) == b"" and len(node.commands) == 1
+
+    play(test)
+
+
 def test_the_rest_of_a_command_that_lies_unread_is_taken_before_its_connection_is_dropped() -> None:
     async def test() -> None:
         async with one_gateway() as (app, _, _):
