Let the pools' tests wait for the grant and the connection that they need

It gave every attempt 100 ms for lease, connection and hand-shake together, and 1 s in all. With the group's first grant planted 150 ms late, five of its ten tests fail (no connection, so no answer, or a wait for what has gone by), which is what a busy machine does to them. Ruled out: the pools; they do as settings say. At fault: tests/test_fleet_pools.py, Gate: connect_ms=100, and ask's deadline of 1 s, also where a connection has to come. Change: 20 s where one has to come; the 100 ms only from where a test wants an attempt to fail for want of one. The attempt whose connection never comes up is ended by the test, and counts until its connection is given up, as before. Left: a process that stands still for 600 ms loses its leases here, and two tests then find nothing open.

--- a/tests/test_fleet_pools.py
+++ b/tests/test_fleet_pools.py
@@ -39,6 +39,7 @@
 
 TIMINGS = Timings(lease_ms=120.0, heartbeat_ms=10.0, election_ms=50.0)  # 600 ms for connections
 IDLE_MS, MOST = 200.0, 4
+PATIENT_MS, HASTY_MS = 20_000.0, 100.0  # for a connection: where one has to come, and where none may come
 
 
 class Gate:
@@ -56,9 +57,10 @@
         self.lease = lease = self.pools.lease("s")
         assert lease is not None
         self.link: Any = DiameterServerLink(
-            (HOST, port), self.loop, boot_ms, me=Identity("g", "r", HOST, 1), services={}, connect_ms=100.0,
-            idle_ms=30_000.0, watchdog_s=30.0, lease=lease) if diameter else RespServerLink(
-            (HOST, port), self.loop, boot_ms, report_names=(), connect_ms=100.0, idle_ms=30_000.0, most=16, lease=lease)
+            (HOST, port), self.loop, boot_ms, me=Identity("g", "r", HOST, 1), services={},
+            connect_ms=PATIENT_MS, idle_ms=30_000.0, watchdog_s=30.0, lease=lease) if diameter else RespServerLink(
+            (HOST, port), self.loop, boot_ms, report_names=(), connect_ms=PATIENT_MS, idle_ms=30_000.0, most=16,
+            lease=lease)
         lease.link = self.link
         self.ends: list[End] = []
         self.asking = 0
@@ -80,7 +82,7 @@
         keeper = self.pools.keeper
         return keeper.pools["s"].open if keeper is not None and "s" in keeper.pools else 0
 
-    def ask(self, deadline_ms: float = 1000.0) -> Execution:
+    def ask(self, deadline_ms: float = 2 * PATIENT_MS) -> Execution:
         """One attempt."""
         now = boot_ms()
         made = Execution(Query(f"{len(self.ends):016x}", "c", "p", ord(self.name), deadline_ms, 1.0, 1, safe=True), 0, 1,
@@ -88,6 +90,10 @@
         self.link.start(made)
         return made
 
+    def haste(self) -> None:
+        """From here on attempts without a connection fail soon."""
+        self.link._connect_ms = HASTY_MS
+
     def ended(self, execution: Execution, end: End) -> None:
         self.ends.append(end)
         if self.asking > 0:  # as many are always under way
@@ -174,6 +180,7 @@
 def test_two_gateways_never_have_more_open_than_the_server_holds() -> None:
     async def test() -> None:
         async with Counted() as server, gates(server, "a", "b") as (group, a, b):
+            a.haste()
             busy(a, 6)
             await soon(lambda: server.held("a") == MOST)  # all of it while nobody else asks
             busy(b, 6)
@@ -237,8 +244,11 @@
             with socket.create_connection((HOST, port)):
                 async with gates(SimpleNamespace(port=port), "a") as (_, a):
                     a.pools.idle_ms = 1e7
-                    a.ask()
+                    attempt = a.ask()
+                    await soon(lambda: a.link._waiting)  # for the lease; what is dialled under it is given up soon
+                    a.haste()
                     await soon(lambda: a.open == 1)
+                    attempt.abandon(Verdict.CANCELLED)
                     await soon(lambda: a.ends and a.open == 0)
 
     play(test)
@@ -252,6 +262,7 @@
             assert (a.ends[0].verdict.name, a.open, server.connections) == ("OK", 1, 1)
             group.cut.add("a")
             await soon(lambda: a.open == 0)
+            a.haste()
             a.ask()
             await soon(lambda: len(a.ends) == 2)
             assert a.ends[1].verdict.name == "CONNECT_FAILED" and server.connections == 1
@@ -267,6 +278,7 @@
             a.ask()
             await soon(lambda: a.ends)
             a.pools.now = lambda: boot_ms() + 1e5
+            a.haste()
             a.ask()  # before anything else could look
             await soon(lambda: len(a.ends) == 2)
             assert a.ends[1].verdict is Verdict.CONNECT_FAILED
@@ -294,7 +306,7 @@
             stands("PAUSING", told="paused")
             await soon(lambda: a.did == ["pause"])
             a.drained = True
-            a.link.retune((), 1000.0, 30_000.0, 1.0)
+            a.link.retune((), PATIENT_MS, 30_000.0, 1.0)
             a.ask()  # a client that did not hear: it is served still, and the connection given back
             await soon(lambda: len(a.ends) == 2 and a.pools.empty)
             assert a.ends[1].verdict.name == "OK"
