Yield between reads of a client that sends on and on, and write its answers as they are fetched

Seen on real sockets: one client that kept its socket full of PINGs had the event loop for itself: another's request waited 5.7 s of a 6 s flood, and SIGTERM was heard after 4 s. Answers of one turn that came to more than 128 KiB (three values of 65,000 bytes behind a slower first one) closed their connection, and all were lost. Ruled out: queries in a flood (64 wait at the most); a client that does not fetch (it is given 2.5 s, then closed). At fault: ClientLink.serve, whose read is done at once where bytes lie in the socket, so that nothing yields; ClientLink.turn_ended, which gave the stream all at once and took its bound for a slow client. Change: behind a read that was done at once others have a turn (this takes the place of the rest after a full piece); beyond 128 KiB the rest is written when that has gone out.

--- a/badgeryoke/resp/client_link.py
+++ b/badgeryoke/resp/client_link.py
@@ -39,6 +39,7 @@
 # streams read by the same measure, so that nothing lies between the socket and the turn.
 READ_AT_ONCE = 4096
 LOOK_S = 0.05  # while no more is read of a client, whether it has gone is looked at so often
+MOST_UNSENT = 128 * 1024  # bytes given to the stream that its client has not fetched; a single answer may be longer
 PIECE = 32 * 1024  # of a long value is written at once; the next when this one has gone out
 PONG, OK = b"+PONG\r\n", b"+OK\r\n"
 
@@ -133,7 +134,7 @@
         self._refusing = False  # what comes is refused
         self._late = False  # it should have ended: what comes is refused, and what is unread stays so
         self._taking = False  # what was read last is in its turn
-        self._much = False  # as much as is read at once came, and more may lie behind it
+        self._unsent = 0  # bytes written to the stream that the client's socket has not taken
         self._told_at = -math.inf  # when an answer was last written
         self._room = asyncio.Event()
         self.spoke = False  # a whole command has come
@@ -164,8 +165,13 @@
 
     @property
     def held(self) -> int:
-        """Bytes held of a command that is not whole."""
-        return self._parser.held
+        """Bytes held of a command that is not whole, and ..."""
+        return self._parser.held + self.unfetched
+
+    @property
+    def unfetched(self) -> int:
+        """... of answers that wait for the client, or for one ahead of them."""
+        return self._unsent + sum(len(slot.reply) for slot in self._slots if slot.reply)
 
     @property
     def passing(self) -> bool:
@@ -197,8 +203,10 @@
         """
         try:
             while True:
-                reading = self._stream.read_bytes(READ_AT_ONCE, partial=True)
-                if self._ending and self._stream.reading():
+                reading = asyncio.ensure_future(self._stream.read_bytes(READ_AT_ONCE, partial=True))
+                if reading.done():  # it lay there: others have their turn, or who sends on and on has the event loop
+                    await asyncio.sleep(0)
+                elif self._ending:
                     self.post(self._moved)  # nothing is in hand any more
                 data = await reading
                 if len(data) >= READ_AT_ONCE and _hung_up(self._stream):
@@ -206,15 +214,13 @@
                 self._taking = True
                 self.deliver(self._take, data)
                 self._taking = False
-                if self._much or self._held_back:
+                if self._held_back:
                     await self._pause()
         except OSError:  # the stream's own end among them
             pass
 
     async def _pause(self) -> None:
-        """Much has come at once: let others have their turn, and go on when there is room.  That the client has
-        left must not wait until what it sent before is read."""
-        await asyncio.sleep(0)
+        """Go on when there is room.  That the client has left must not wait until what it sent before is read."""
         while self._held_back and not self._stream.closed():
             if _hung_up(self._stream):
                 self._stream.close()
@@ -226,10 +232,8 @@
     def _take(self, data: bytes) -> None:
         # A closed stream still gives what it has read: its client has gone, and nothing may begin for it.
         if self._broken or self._finished or self._stream.closed():
-            self._much = len(data) >= READ_AT_ONCE
             return
         values = self._parser.feed(data)
-        self._much = bool(values) and len(data) >= READ_AT_ONCE  # within a value, which has a bound, it goes on
         for value in values:
             self._command(value)
             if self._broken:
@@ -291,22 +295,24 @@
         """Write the answers that are at the head of the order, in one piece."""
         slots = self._slots
         out: list[bytes | None] = []
-        while slots and slots[0].reply is not None:
+        unsent = self._unsent
+        while slots and (reply := slots[0].reply) is not None:
+            if unsent and unsent + len(reply) > MOST_UNSENT:
+                break  # the rest when these have gone out
             if (relay := slots[0].relay) is not None and not self._pass_on(slots[0], relay, out):
                 break
+            unsent += len(reply)
             out.append(slots.popleft().reply)
         if self._stream.closed():
             return
         if out:
             self._told_at = self._loop.time()
+            data = b"".join(part for part in out if part)
+            self._unsent += len(data)
             try:
-                self._stream.write(b"".join(part for part in out if part)).add_done_callback(self._fetched)
+                self._stream.write(data).add_done_callback(lambda done: self._fetched(done, len(data)))
             except StreamClosedError:
                 return
-            except Exception as fault:  # the write buffer's bound
-                log.warning("client reads too slowly, connection closed: %s", fault)
-                self._stream.close()
-                return
         self.idle_since = self._loop.time()
         if not self._stream.writing():
             self.unread_since = math.inf
@@ -318,11 +324,12 @@
             self._ending = True
             self._finish()
 
-    def _fetched(self, done: asyncio.Future[None]) -> None:
+    def _fetched(self, done: asyncio.Future[None], size: int) -> None:
         """What had been written is out; retrieves the exception of a write that its end cut short."""
+        self._unsent -= size
         if not done.cancelled() and done.exception() is None:
             self.unread_since = math.inf
-            if self._ending or (self._slots and self._slots[0].relay is not None):
+            if self._ending or (self._slots and self._slots[0].reply is not None):
                 self.deliver(self._moved)
 
     def _pass_on(self, slot: _Slot, relay: Relay, out: list[bytes | None]) -> bool:
--- a/badgeryoke/resp/front.py
+++ b/badgeryoke/resp/front.py
@@ -26,8 +26,7 @@
 # can come.
 CROWD_S = 0.3
 CLIENT_BUFFER = 128 * 1024  # bound of what is read of a client and not yet taken
-CLIENT_WRITES = 128 * 1024  # and of what it has not yet fetched, ...
-UNREAD_S = 2.5  # ... which it must fetch within this time, ...
+UNREAD_S = 2.5  # what a client is answered it must fetch within this time, ...
 STALLED_S = 10.0  # ... and each piece of a long value within this
 BACKLOG = 512  # connections that the system accepts for us and holds
 ACCEPT_AT_ONCE = 64  # of them are taken before others have their turn
@@ -102,8 +101,7 @@
             self._open(made)
 
     def _open(self, made: socket.socket) -> None:
-        stream = IOStream(made, max_buffer_size=CLIENT_BUFFER, read_chunk_size=READ_AT_ONCE,
-                          max_write_buffer_size=CLIENT_WRITES)
+        stream = IOStream(made, max_buffer_size=CLIENT_BUFFER, read_chunk_size=READ_AT_ONCE)
         stream.set_nodelay(True)
         full = len(self.links) >= self._most and not self._make_room(GIVE_WAY_S)
         link = ClientLink(stream, self._core, self._loop, self.ready, self._closed)
@@ -169,7 +167,10 @@
         if held > self._most_held:
             for link in sorted(self.links, key=lambda link: link.held, reverse=True):
                 held -= link.held
-                link.drop()
+                if link.unfetched > link.held // 2:
+                    link.abort()  # its answers are what is held: nothing else frees them
+                else:
+                    link.drop()
                 if held <= self._most_held:
                     break
         while len(self.links) > self._crowd and self._make_room(CROWD_S):
--- a/tests/test_client_ends.py
+++ b/tests/test_client_ends.py
@@ -23,6 +23,7 @@
 
 from badgeryoke import gateway as gateway_module
 from badgeryoke.actor import Turns, WallClock
+from badgeryoke.core import Answer, Served
 from badgeryoke.drain import Event
 from badgeryoke.execution import Query
 from badgeryoke.gateway import App
@@ -177,6 +178,54 @@
     play(test)
 
 
+def test_who_sends_on_and_on_leaves_others_their_turns(monkeypatch: pytest.MonkeyPatch) -> None:
+    """What lies in a socket is read at once, without a round of the event loop: a flood of small writes kept it."""
+    taken: list[ClientLink] = []
+    take: Any = ClientLink._take
+    monkeypatch.setattr(front_module, "READ_AT_ONCE", 512)  # as small writes are read
+
+    def counted(link: ClientLink, data: bytes) -> None:
+        taken.append(link)
+        take(link, data)
+
+    monkeypatch.setattr(ClientLink, "_take", counted)
+
+    async def test() -> None:
+        async with one_gateway() as (app, _, _):
+            flood, other = client(app), client(app)
+            flood.sendall(resp("PING") * 5000)
+            other.sendall(resp("PING"))
+            other.setblocking(False)
+            assert await asyncio.get_running_loop().sock_recv(other, 100) == b"+PONG\r\n"
+            assert len(taken) < 20  # of 137
+            flood.close()
+            other.close()
+
+    play(test)
+
+
+def test_answers_that_are_ready_at_once_are_written_as_they_are_fetched(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Three of 60,000 bytes behind a slow first one passed the stream's bound: the connection was closed over all."""
+    async def test() -> None:
+        async with one_gateway() as (app, _, _):
+            given: list[Callable[[Answer], None]] = []
+
+            def submit(_: Query, answer: Callable[[Answer], None]) -> Callable[[], None]:
+                given.append(answer)
+                return lambda: None
+
+            monkeypatch.setattr(app.core, "submit", submit)
+            made = client(app)
+            made.sendall(b"".join(query(f"r{n}") for n in range(12)))
+            await until(lambda: len(given) == 12)
+            for answer in reversed(given):
+                answer(Served(b"x" * 60_000))
+            app.end()
+            assert len(await answers(made)) == 12 * (60_000 + len(b"$60000\r\n\r\n"))
+
+    play(test)
+
+
 # Connections that the gateway ends ------------------------------------------------------------------------
 
 
