--- a/badgeryoke/host_group.py
+++ b/badgeryoke/host_group.py
@@ -53,6 +53,7 @@
 # whether only that watch was broken; from then on each is held as long as any, so 200 gateways make 50 calls a second
 # in an outage, where they make 70 on a quiet day.
 AGAIN_S = 0.05  # the next try lies anywhere in this time
+SOON_S = 0.6  # at the most, where the first call behind silence is refused: 4.05 s of the clock's 6 are gone
 SHORT_TRIES = 2
 MAX_HEAD, MAX_BODY = 16 * 1024, 4 * 1024 * 1024
 MOST_NUMBER = 1e15  # of any figure: whole ones are exact up to there, and a JSON number has no bound of its own
@@ -320,7 +321,10 @@
             self._silences += 1
             return AGAIN_S * self._draw()
         pause, self._back_off = self._back_off, min(self._back_off * 2, self.longest)
-        return pause * (0.5 + self._draw())
+        pause *= 0.5 + self._draw()
+        if self._silences:  # what was missed then counts already: one refusal behind it must not take the rest
+            self._silences, pause = 0, min(pause, SOON_S)
+        return pause
 
     def answered(self) -> None:
         """A list has come: half as long next time.  Where discovery has no room for all that ask, one answer
--- a/tests/test_discovery_clock.py
+++ b/tests/test_discovery_clock.py
@@ -136,12 +136,15 @@
     """A pause could take 5.4 s, and a try behind it 3 s more.  The last term is the try that is answered at once."""
     group = HostGroup((HOST, 1), None, Turns(asyncio.new_event_loop()), lambda *_: None, gateways, lambda: 1.0)
     pause, again = max(group.pause() for _ in range(30)), group.pause(silent=True)
+    behind_silence, later = group.pause(), group.pause()
     probe, wait, whole = host_group.PROBE_MS / 1000, host_group.WAIT_MS / 1000, host_group.WHOLE_S
     silent = host_group.SILENT_S
     refused_then_given_up = pause + (probe + whole) + again
     trickled = (wait + whole) + again
     silent_twice = (wait + silent) + again + (probe + silent) + again
     assert max(refused_then_given_up, trickled) <= 5.0 and silent_twice <= 5.5
+    refused_behind_silence = (wait + silent) + again + behind_silence + (probe + silent)
+    assert refused_behind_silence <= 5.8 and later == pause  # one call more, not a pace
     assert 3 * (probe + silent + again) <= 3.5 and probe + whole + again <= 2.0  # after SIGHUP: 4 s
 
 
