Let go of a client link's last reading, whose exception held all of the link

On 300 connections made and closed without a collection 300 links stayed, none before. At fault: ClientLink.serve: the local that holds the reading; the exception of the last one refers to the frame by its traceback, the frame to the reading. Change: it is let go of at the end. test_client_ends.py: the new test fails before (the link is never freed), passes after; with test_front 57 pass.

--- a/badgeryoke/resp/client_link.py
+++ b/badgeryoke/resp/client_link.py
@@ -201,6 +201,7 @@
         The end of the client's sending counts as its leaving: closed or only ended, the other machine sends the
         same FIN, and the protocol has clients that close and none that end their sending and still read.
         """
+        reading: asyncio.Future[bytes] | None = None
         try:
             while True:
                 reading = asyncio.ensure_future(self._stream.read_bytes(READ_AT_ONCE, partial=True))
@@ -218,6 +219,8 @@
                     await self._pause()
         except OSError:  # the stream's own end among them
             pass
+        finally:
+            reading = None  # its exception holds this frame, and so all of the link until the next collection
 
     async def _pause(self) -> None:
         """Go on when there is room.  That the client has left must not wait until what it sent before is read."""
--- a/tests/test_client_ends.py
+++ b/tests/test_client_ends.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import errno
+import gc
 import json
 import os
 import resource
@@ -12,6 +13,7 @@
 import subprocess
 import sys
 import time
+import weakref
 from collections.abc import Callable
 from dataclasses import replace
 from pathlib import Path
@@ -226,6 +228,25 @@
     play(test)
 
 
+def test_a_link_that_has_ended_leaves_nothing_to_the_collector() -> None:
+    """The last reading's exception held the frame that it was raised in: 3.6 MB lay there on a day of many clients."""
+    async def test() -> None:
+        async with one_gateway() as (app, _, _):
+            gc.collect()
+            gc.disable()
+            try:
+                made, link = await linked(app)
+                seen = weakref.ref(link)
+                del link
+                made.close()
+                await until(lambda: not app._front.links)
+                await until(lambda: seen() is None)
+            finally:
+                gc.enable()
+
+    play(test)
+
+
 # Connections that the gateway ends ------------------------------------------------------------------------
 
 
