Take settings without a plan, as a gateway has that only keeps a share in a fleet

Seen in the whole suite: test_fleet_stage's two runs of real gateways failed since, with 'setting contracts: expected a list with one entry at least'. The laboratory starts such gateways without plans, and the program before took that.

--- a/martenstep/settings.py
+++ b/martenstep/settings.py
@@ -99,11 +99,11 @@
         """An object."""
         return Reader(self.value(key), self._name(key))
 
-    def named(self, key: str) -> list[Reader]:
-        """A list of objects, each with a name of its own: one at least, since nothing could be asked for."""
+    def named(self, key: str, least: int = 1) -> list[Reader]:
+        """A list of objects, each with a name of its own."""
         value = self.value(key)
-        if not isinstance(value, list) or not value:
-            raise self._fault(key, "a list with one entry at least", value)
+        if not isinstance(value, list) or len(value) < least:
+            raise self._fault(key, f"a list with {least} entries at least", value)
         entries = [Reader(entry, f"{self._name(key)}[{place}]") for place, entry in enumerate(value)]
         seen: set[str] = set()
         for entry in entries:
@@ -167,7 +167,7 @@
         zone=top.text("zone") if "zone" in raw or raw.get("zones") else "",  # a site may have none
         tick_ms=top.above_0("tick_ms", MOST_MS),
         classes=tuple(map(_class, top.named("classes"))),
-        plans=tuple(map(_plan, top.named("contracts"))),
+        plans=tuple(map(_plan, top.named("contracts", least=0))),  # none: a gateway that only keeps a share in a fleet
         has_counter=has_counter,
         counter_timeout_ms=family.above_0("counter_timeout_ms", MOST_MS) if has_counter else 0.0,
         max_units=family.above_0("max_units", MOST_UNITS),
