Tell all that wait at a refusing server at once, and cut off a client that fetches no more

Change: a refused connection is not dialled anew, one that came up is followed by the next; what is unfetched is asked first; a command's time stands while nothing is read.

--- a/badgeryoke/resp/client_link.py
+++ b/badgeryoke/resp/client_link.py
@@ -216,7 +216,10 @@
                 self.deliver(self._take, data)
                 self._taking = False
                 if self._held_back:
+                    self.begun_at = math.inf  # that the rest does not come is not the client's doing
                     await self._pause()
+                    if not self._parser.idle:
+                        self.begun_at = self._loop.time()
         except OSError:  # the stream's own end among them
             pass
         finally:
@@ -331,7 +334,7 @@
         """What had been written is out; retrieves the exception of a write that its end cut short."""
         self._unsent -= size
         if not done.cancelled() and done.exception() is None:
-            self.unread_since = math.inf
+            self.unread_since = self._loop.time() if self._unsent else math.inf
             if self._ending or (self._slots and self._slots[0].reply is not None):
                 self.deliver(self._moved)
 
--- a/badgeryoke/resp/front.py
+++ b/badgeryoke/resp/front.py
@@ -160,10 +160,10 @@
         held = 0
         for link in list(self.links):
             held += link.held
-            if (now - link.idle_since >= IDLE_S and link.idle) or now - link.begun_at >= COMMAND_S:
-                link.drop()
-            elif now - link.unread_since >= (STALLED_S if link.passing else UNREAD_S):
+            if now - link.unread_since >= (STALLED_S if link.passing else UNREAD_S):
                 link.abort()
+            elif (now - link.idle_since >= IDLE_S and link.idle) or now - link.begun_at >= COMMAND_S:
+                link.drop()
         if held > self._most_held:
             for link in sorted(self.links, key=lambda link: link.held, reverse=True):
                 held -= link.held
--- a/badgeryoke/resp/server_link.py
+++ b/badgeryoke/resp/server_link.py
@@ -286,6 +286,7 @@
         connection.up = True
         self._opening -= 1
         self._free(connection)
+        self._open()  # one more of those that may be on their way at once
 
     def _free(self, connection: _Connection) -> None:
         """Put a connection to the next use: an attempt that waits, or the pool."""
@@ -433,7 +434,7 @@
             # Refused or never up: whoever waits is told at once, unless another connection is on its way.
             if not self._opening:
                 self._fail_waiting(str(connection.stream.error or "no connection in time"), len(self._idle))
-                return
+            return  # dialled anew for each, they would be refused without end, and nobody be told
         self._open()
 
     def _fail_waiting(self, detail: str, but: int = 0) -> None:
--- a/tests/test_client_ends.py
+++ b/tests/test_client_ends.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import errno
 import gc
 import json
+import math
 import os
 import resource
 import signal
@@ -14,7 +16,7 @@
 import sys
 import time
 import weakref
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
@@ -31,6 +33,7 @@
 from badgeryoke.gateway import App
 from badgeryoke.resp import front as front_module
 from badgeryoke.resp.client_link import MOST_WAITING, READ_AT_ONCE, ClientLink
+from badgeryoke.resp.front import COMMAND_S, UNREAD_S, RespFront
 from tests.standins import (
     HOST,
     Backend,
@@ -247,6 +250,106 @@
     play(test)
 
 
+class Unanswered:
+    """A core whose answers are given by hand."""
+
+    def __init__(self) -> None:
+        self.given: list[Callable[[Answer], None]] = []
+
+    def problem(self, _: Query) -> None:
+        return None
+
+    def submit(self, _: Query, answer: Callable[[Answer], None]) -> Callable[[], None]:
+        self.given.append(answer)
+        return lambda: None
+
+
+class Ready:
+    ready = True
+
+
+@contextlib.asynccontextmanager
+async def narrow() -> AsyncIterator[tuple[Unanswered, RespFront, socket.socket]]:
+    """A front before such a core, and a client of it; little fits between the two."""
+    core: Any = Unanswered()
+    hosts: Any = Ready()
+    front = RespFront(core, Turns(asyncio.get_running_loop()), 20, hosts, 10**9, 15)
+    with socket.socket() as listening, socket.socket() as made:
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 8192)
+        listening.bind((HOST, 0))
+        listening.listen()
+        listening.setblocking(False)
+        front.add_sockets([listening])
+        made.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+        made.connect(listening.getsockname())
+        yield core, front, made
+        front.stop()
+
+
+def test_a_client_that_fetches_a_part_and_stops_is_cut_off() -> None:
+    """That the first of two writes had gone out told that nothing waited to be fetched any more."""
+    async def test() -> None:
+        async with narrow() as (core, front, made):
+            for rid in ("r1", "r2"):  # two writes
+                made.sendall(query(rid))
+                await until(lambda: core.given)
+                core.given.pop()(Served(b"x" * 60_000))
+                await asyncio.sleep(0)
+            [link] = front.links
+            made.setblocking(False)
+            got = 0
+            while link._unsent > 60_100:  # the first is not out
+                got += len(await asyncio.get_running_loop().sock_recv(made, 4096))
+            assert link._unsent and link.unread_since < math.inf and got < 120_000
+            link.unread_since -= UNREAD_S
+            front.sweep()
+            await until(lambda: not front.links)
+
+    play(test)
+
+
+def test_half_a_command_does_not_keep_a_client_that_fetches_nothing() -> None:
+    """Its time for the command was up first, and from then on nobody looked at its answers."""
+    async def test() -> None:
+        async with narrow() as (core, front, made):
+            made.sendall(b"".join(query(f"r{n}") for n in range(10)) + query("half")[:20])
+            await until(lambda: len(core.given) == 10)
+            for answer in core.given:
+                answer(Served(b"x" * 60_000))
+            [link] = front.links
+            await until(lambda: link.unread_since < math.inf)
+            link.begun_at -= COMMAND_S
+            front.sweep()
+            await asyncio.sleep(0)
+            assert front.links  # it has its time to fetch
+            link.unread_since -= UNREAD_S
+            front.sweep()
+            await until(lambda: not front.links)
+
+    play(test)
+
+
+def test_the_rest_of_a_command_has_no_time_to_come_while_it_is_not_read() -> None:
+    """65 long queries of one write: the last lies half read until there is room, and its time was up by then."""
+    async def test() -> None:
+        async with narrow() as (core, front, made):
+            body = "b" * (READ_AT_ONCE // 32)
+            made.setblocking(False)
+            asked = b"".join(query(f"r{n:03}", body=body) for n in range(80))
+            sending = asyncio.ensure_future(asyncio.get_running_loop().sock_sendall(made, asked))
+            await until(lambda: len(core.given) >= MOST_WAITING)
+            await asyncio.sleep(0.01)
+            [link] = front.links
+            assert link._held_back and not link._parser.idle and link.begun_at == math.inf
+            front.sweep()
+            for answer in core.given:
+                answer(Served(b"value"))
+            await until(lambda: len(core.given) == 80)
+            await sending
+
+    play(test)
+
+
 # Connections that the gateway ends ------------------------------------------------------------------------
 
 
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -522,3 +522,42 @@
             assert ended == [True]
 
     play(test)
+
+
+@pytest.mark.parametrize("many", [2, 20])
+def test_a_server_that_refuses_is_not_dialled_again_and_all_that_wait_are_told(many: int) -> None:
+    """Each connection that was refused while another was on its way was dialled anew: 1,200 dials in 250 ms."""
+    async def test() -> None:
+        async with node() as made:
+            made.listener.close()
+            dials: list[object] = []
+            dial = actor.dial
+
+            def counted(*args: Any) -> Any:
+                dials.append(args)
+                return dial(*args)
+
+            with pytest.MonkeyPatch.context() as patch:
+                patch.setattr(server_link, "dial", counted)
+                for n in range(many):
+                    made.start(f"r{n}")
+                await until(lambda: len(made.ends) == many)
+            assert {end[1] for end in made.ends} == {Verdict.CONNECT_FAILED}
+            assert len(dials) <= server_link.MOST_OPENING and not made.link._opening
+
+    play(test)
+
+
+def test_the_next_connection_is_opened_as_one_comes_up() -> None:
+    """Only eight may be on their way at once; behind these none was, and the ninth attempt waited for a first answer."""
+    async def test() -> None:
+        async with node() as made:
+            made.link._most = 20
+            for n in range(20):
+                made.start(f"r{n}")
+            for _ in range(20):
+                await made.accept()
+            await until(lambda: not made.link._waiting)
+            assert len(made.link._all) == 20 and not made.ends
+
+    play(test)
