--- a/badgeryoke/cli/main.py
+++ b/badgeryoke/cli/main.py
@@ -21,8 +21,10 @@
     click.echo(ujson.dumps(value, sort_keys=True, escape_forward_slashes=False))
 
 
-CODES = ("Exit codes: 0 good, 1 a figure is bad, 2 what was given cannot be used, 3 something is not "
-         "installed, 4 could not be carried out.")
+CODES = (
+    "Exit codes: 0 good, 1 a figure is bad, 2 what was given cannot be used, 3 something is not "
+    "installed, 4 could not be carried out."
+)
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]}, epilog=CODES)
@@ -47,6 +49,7 @@
         LB_CONFIG=config.json badgeryoke serve
     """
     from badgeryoke.__main__ import main
+
     try:
         asyncio.run(main())
     except ConfigError as fault:
@@ -77,6 +80,7 @@
             faults = [str(fault)]
     elif file.name == "diameter.toml":
         from martenstep.interface import Settings
+
         try:
             read_diameter(file, Settings(0, 1, "", 1.0, (), ()))
         except ConfigError as fault:
@@ -99,6 +103,7 @@
     try:
         from lab.commands import demo, lab
     except ImportError as fault:
+
         @cli.command(name="lab", context_settings={"ignore_unknown_options": True})
         @click.argument("words", nargs=-1)
         def lab_missing(words: tuple[str, ...], missing: str | None = fault.name) -> None:
--- a/badgeryoke/config.py
+++ b/badgeryoke/config.py
@@ -24,8 +24,8 @@
 Address = tuple[str, int]
 MOST_CONFIG = 16 * 1024 * 1024
 MOST_TOLD = 20  # unknown keys named in one line
-# The front goes on opening connections for 0.2 to 0.4 s after a SIGTERM (protocol page, at any site); these, and what
-# is asked on them, are still taken.
+# The front goes on opening connections for 0.2 to 0.4 s after a SIGTERM (protocol page, at any site); these,
+# and what is asked on them, are still taken.
 DRAIN_S = 0.45
 REPORTED = {"answers": True, "probe": False, "none": False}  # whether answers carry load reports
 
@@ -73,7 +73,9 @@
     deadline_ms: float  # how long a client waits for a CCA (its Tx timer); 0: the class's deadline
     watchdog_s: float
     answers_kept_s: float
-    check_class: str | None = None  # of a CHECK_BALANCE; None: the first of the settings that is safe to repeat
+    check_class: str | None = (
+        None  # of a CHECK_BALANCE; None: the first of the settings that is safe to repeat
+    )
     debit_class: str | None = None  # of a DIRECT_DEBITING; None: the first that takes a key
 
 
@@ -109,8 +111,9 @@
         raise ConfigError(f"{key}: {fault}") from None
 
 
-def _number(key: str, table: Mapping[str, Any], name: str, default: float, least: float,
-            most: float = 1e12) -> float:
+def _number(
+    key: str, table: Mapping[str, Any], name: str, default: float, least: float, most: float = 1e12
+) -> float:
     value = table.get(name, default)
     if isinstance(value, bool) or not isinstance(value, int | float) or not least <= value <= most:
         raise ConfigError(f"{key}.{name}: expected a number from {least:g} to {most:g}, got {value!r}")
@@ -172,7 +175,9 @@
     except ValueError as fault:
         raise ConfigError(str(fault)) from None
     if strange := unknown(settings_raw):
-        log.warning("settings unknown to this program: %s", ", ".join(key[:64] for key in strange[:MOST_TOLD]))
+        log.warning(
+            "settings unknown to this program: %s", ", ".join(key[:64] for key in strange[:MOST_TOLD])
+        )
     try:
         seed = int(str(raw.get("seed", "0")), 16)
     except ValueError:
@@ -203,8 +208,11 @@
     return Config(
         name=environ.get("LB_NAME") or str(raw.get("name", "")),
         listen=listen,
-        discovery=(_address("discovery", raw["discovery"]) if again and raw.get("discovery") else
-                   _address("LB_DISCOVERY", environ.get("LB_DISCOVERY") or raw.get("discovery"))),
+        discovery=(
+            _address("discovery", raw["discovery"])
+            if again and raw.get("discovery")
+            else _address("LB_DISCOVERY", environ.get("LB_DISCOVERY") or raw.get("discovery"))
+        ),
         counter=_address("counter", counter) if counter else None,
         seed=seed,
         sockets=int(_number("limits", limits, "sockets", 1024, 64)),
@@ -225,8 +233,9 @@
 
 
 def read_diameter(path: Path, settings: Settings) -> DiameterConfig | None:
-    """The deploy/ file; None where there is none or where it does not turn the front on.  Its names are held against
-    the settings, but where these have no classes and no plans: then the file is looked at by itself."""
+    """The deploy/ file; None where there is none or where it does not turn the front on.  Its names are
+    held against the settings, but where these have no classes and no plans: then the file is looked at by
+    itself."""
     try:
         raw = tomllib.loads(path.read_text(encoding="utf-8"))
     except FileNotFoundError:
@@ -262,10 +271,18 @@
     chosen: dict[str, str | None] = {"check": None, "debit": None}
     for key, value in _table(f"{name}: classes", raw.get("classes", {})).items():
         effect = Effect.SAFE if key == "check" else Effect.KEYED
-        if key not in chosen or not isinstance(value, str) or (settings.classes and all(
-                (cls.name, cls.effect) != (value, effect) for cls in settings.classes)):
-            raise ConfigError(f"{name}: classes.{key}: expected check = a class that is safe to repeat, or debit = one "
-                              f"that takes a key")
+        if (
+            key not in chosen
+            or not isinstance(value, str)
+            or (
+                settings.classes
+                and all((cls.name, cls.effect) != (value, effect) for cls in settings.classes)
+            )
+        ):
+            raise ConfigError(
+                f"{name}: classes.{key}: expected check = a class that is safe to repeat, or debit = one "
+                f"that takes a key"
+            )
         chosen[key] = value
     lists: dict[str, frozenset[str]] = {}
     for key in ("server_kinds", "clients"):
@@ -274,10 +291,15 @@
             raise ConfigError(f"{name}: {key}: expected a list of words")
         lists[key] = frozenset(value)
     return DiameterConfig(
-        listen=listen, origin_host=words["origin_host"], origin_realm=words["origin_realm"], plans=plans,
-        server_kinds=lists["server_kinds"], clients=lists["clients"],
+        listen=listen,
+        origin_host=words["origin_host"],
+        origin_realm=words["origin_realm"],
+        plans=plans,
+        server_kinds=lists["server_kinds"],
+        clients=lists["clients"],
         deadline_ms=_number(name, raw, "deadline_ms", 0, 0),
         watchdog_s=_number(name, raw, "watchdog_s", 30, 6),
         answers_kept_s=_number(name, raw, "answers_kept_s", 240, 1),
-        check_class=chosen["check"], debit_class=chosen["debit"],
+        check_class=chosen["check"],
+        debit_class=chosen["debit"],
     )
--- a/badgeryoke/core.py
+++ b/badgeryoke/core.py
@@ -118,15 +118,22 @@
     )
     cause: str  # badgeryoke.guarantee sets it with `reserved`
 
-    def __init__(self, rid: str, query: Query, answer: Callable[[Answer], None], deadline_ms: float,
-                 cls: api.RequestClass) -> None:
+    def __init__(
+        self,
+        rid: str,
+        query: Query,
+        answer: Callable[[Answer], None],
+        deadline_ms: float,
+        cls: api.RequestClass,
+    ) -> None:
         self.id, self.query, self.deadline_ms = rid, query, deadline_ms
         self.cls = cls  # as it was when the query was checked; the module gets it under no other
         # How long after an attempt that may have run another may come to a server.
         self.window_ms = cls.window_ms if cls.effect is api.Effect.KEYED else math.inf
         # A client's own repeat does no harm even if it may have run.
-        self.harmless = (cls.effect is api.Effect.SAFE
-                         or (cls.effect is api.Effect.KEYED and cls.group is api.Group.ALL))
+        self.harmless = cls.effect is api.Effect.SAFE or (
+            cls.effect is api.Effect.KEYED and cls.group is api.Group.ALL
+        )
         self.risk_ms = math.inf  # when the first such attempt was started
         self.answer: Callable[[Answer], None] | None = answer  # None: the final answer is given
         self.may_have_run = False
@@ -141,9 +148,18 @@
 class Core(Actor):
     """Drives one decision module."""
 
-    def __init__(self, settings: api.Settings, seed: int, loop: Turns, clock: Callable[[], float],
-                 links: Callable[[int], ServerLink | None], counter: Counter,
-                 most_bodies: int = MOST_BODIES, watch: bool = False, reserves: bool = False) -> None:
+    def __init__(
+        self,
+        settings: api.Settings,
+        seed: int,
+        loop: Turns,
+        clock: Callable[[], float],
+        links: Callable[[int], ServerLink | None],
+        counter: Counter,
+        most_bodies: int = MOST_BODIES,
+        watch: bool = False,
+        reserves: bool = False,
+    ) -> None:
         super().__init__(loop)
         make = Gateway
         if reserves:
@@ -152,6 +168,7 @@
         self._watched: Guarded | None = None
         if watch:
             from martenstep.watch.guarded import Guarded  # not loaded where it is off
+
             self._module = self._watched = Guarded(settings, seed, make)
         self._guarantee: Guarantee | None = None
         self._clock, self._links, self._counter = clock, links, counter
@@ -209,9 +226,11 @@
         if query.plan not in self._plans:
             return f"unknown plan {query.plan[:32]!r}"
         # A figure out of these would be booked against a customer's quota, or held as long as it says.
-        for name, value, most in (("time to wait", query.remaining_ms, cls.deadline_ms + 1.0),
-                                  ("units", query.units, self._max_units),
-                                  ("spread", query.spread, self._gateways)):
+        for name, value, most in (
+            ("time to wait", query.remaining_ms, cls.deadline_ms + 1.0),
+            ("units", query.units, self._max_units),
+            ("spread", query.spread, self._gateways),
+        ):
             if not 0 < value <= most:  # false for what is no number, too
                 return f"{name} out of range"
         if not 0 <= query.first < self._gateways:
@@ -312,16 +331,30 @@
             self._ask(run, run.deadline_ms - self._clock())
 
     def _outdated(self, run: _Running) -> bool:
-        """Whether new settings came between a query's check and the module: the module would decide on its repeats
-        by another rule than it was checked and is encoded by.  Nothing has run, so a refusal does no harm."""
+        """Whether new settings came between a query's check and the module: the module would decide on its
+        repeats by another rule than it was checked and is encoded by.  Nothing has run, so a refusal does
+        no harm."""
         cls = self._classes.get(run.query.cls)
         return (cls is not run.cls and cls != run.cls) or run.query.plan not in self._plans
 
     def _ask(self, run: _Running, left: float) -> None:
         """Bring a query to the module."""
         query = run.query
-        self._decide(api.Request(run.id, query.cls, query.plan, query.customer, left, query.units, query.spread,
-                                 query.first, query.retry, 0 if run.reserved is None else run.reserved.rank), run)
+        self._decide(
+            api.Request(
+                run.id,
+                query.cls,
+                query.plan,
+                query.customer,
+                left,
+                query.units,
+                query.spread,
+                query.first,
+                query.retry,
+                0 if run.reserved is None else run.reserved.rank,
+            ),
+            run,
+        )
 
     def _left(self, run: _Running) -> None:
         if run.answer is not None:
@@ -379,11 +412,21 @@
         """Log what the counter is held to be from now on."""
         for change in watched.take_changes():
             sound = change.new.value in ("sound", "healed", "slow")
-            fields = {"old": change.old.value, "new": change.new.value, "sign": change.sign.value,
-                      "hidden": list(change.hidden), "since_ms": round(change.at_ms, 1)}
-            log.log(logging.INFO if sound else logging.WARNING, "counter believed %s: %s%s", change.new.value,
-                    change.sign.value, f", gateways {list(change.hidden)}" if change.hidden else "",
-                    extra={"fields": fields})
+            fields = {
+                "old": change.old.value,
+                "new": change.new.value,
+                "sign": change.sign.value,
+                "hidden": list(change.hidden),
+                "since_ms": round(change.at_ms, 1),
+            }
+            log.log(
+                logging.INFO if sound else logging.WARNING,
+                "counter believed %s: %s%s",
+                change.new.value,
+                change.sign.value,
+                f", gateways {list(change.hidden)}" if change.hidden else "",
+                extra={"fields": fields},
+            )
 
     def _act(self, now: float, action: api.Action) -> None:
         match action:
@@ -403,7 +446,8 @@
                 self._counter.add(name, units, life, self._counted)
             case api.Wake(at_ms=at, token=token):
                 self._wakes[token] = self._loop.call_later(
-                    max(at - now, 0.0) / 1000.0, self.deliver, self._due, token)
+                    max(at - now, 0.0) / 1000.0, self.deliver, self._due, token
+                )
             case api.Cancel(id=rid, attempt=attempt):  # ignored by one whose long value has begun
                 run = self._running.get(rid)
                 if run is not None and run.execution is not None and run.execution.attempt == attempt:
@@ -434,9 +478,17 @@
             return
         attempt, run.attempts = run.attempts, run.attempts + 1
         deadline = min(run.deadline_ms, now + action.timeout_ms) if action.timeout_ms > 0 else run.deadline_ms
-        execution = Execution(run.query, attempt, action.server, now, deadline,
-                              lambda ended, end: self.post(self._ended, run, ended, end), run.may_have_run,
-                              self.figures.attempted, run.risk_ms + run.window_ms - self._slack_ms)
+        execution = Execution(
+            run.query,
+            attempt,
+            action.server,
+            now,
+            deadline,
+            lambda ended, end: self.post(self._ended, run, ended, end),
+            run.may_have_run,
+            self.figures.attempted,
+            run.risk_ms + run.window_ms - self._slack_ms,
+        )
         link = self._links(action.server)
         if run.execution is not None or run.answer is None:
             execution.moot("one attempt at a time, and none after the answer")
@@ -448,9 +500,11 @@
             run.execution = execution
             execution.on_begun = lambda relay: self.post(self._begun, run, execution, relay)
             if deadline < run.deadline_ms - 1.0:
-                # In a turn of the core's: its connection is closed before the next attempt is written anywhere.
-                self._loop.call_later((deadline - now) / 1000.0, self.deliver, execution.abandon,
-                                      api.Verdict.TIMEOUT)
+                # In a turn of the core's: its connection is closed before the next attempt is written
+                # anywhere.
+                self._loop.call_later(
+                    (deadline - now) / 1000.0, self.deliver, execution.abandon, api.Verdict.TIMEOUT
+                )
             link.start(execution)
 
     def _ended(self, run: _Running, execution: Execution, end: End) -> None:
@@ -470,8 +524,19 @@
         over = run.answer is None or run.relay is not None
         if run.answer is None and run.execution is None:
             self._forget(run)
-        self._decide(api.Outcome(run.id, execution.attempt, execution.server, end.verdict, rtt, over,
-                                 end.true_units, end.report), run)
+        self._decide(
+            api.Outcome(
+                run.id,
+                execution.attempt,
+                execution.server,
+                end.verdict,
+                rtt,
+                over,
+                end.true_units,
+                end.report,
+            ),
+            run,
+        )
 
     def _begun(self, run: _Running, execution: Execution, relay: Relay) -> None:
         """A long value has begun: this is the final answer, whatever becomes of it."""
--- a/badgeryoke/counter.py
+++ b/badgeryoke/counter.py
@@ -73,8 +73,8 @@
         await pump(self.stream, lambda data: owner.deliver(owner.arrived, self, data))
 
     def ended(self) -> bool:
-        """Whether the counter has closed it, also where the event loop has not told of that yet; or has written
-        what nobody asked for, which would be taken for an answer.
+        """Whether the counter has closed it, also where the event loop has not told of that yet; or has
+        written what nobody asked for, which would be taken for an answer.
 
         A counter closes what was idle, and a call written into that close would count as one that may have
         been added, though it never was: its units would be told to nobody.
@@ -93,8 +93,9 @@
     """Owns the connections: the one that calls are written to, and one on its way up where that is lost or
     the counter has moved.  A call made while there is neither fails at once, and nothing was added."""
 
-    def __init__(self, address: tuple[str, int], timeout_ms: float, loop: Turns,
-                 clock: Callable[[], float]) -> None:
+    def __init__(
+        self, address: tuple[str, int], timeout_ms: float, loop: Turns, clock: Callable[[], float]
+    ) -> None:
         super().__init__(loop)
         self._address, self._timeout_ms, self._clock = address, max(timeout_ms, 1.0), clock
         self._used: _Connection | None = None
@@ -190,8 +191,12 @@
         for one in self._all:
             # An answer that was begun and does not end would hold back all answers behind it.
             # One of which a piece has come since is on its way.
-            if (one.calls and one.calls[0].done is None and not one.parser.idle
-                    and now - one.heard >= self._timeout_ms):
+            if (
+                one.calls
+                and one.calls[0].done is None
+                and not one.parser.idle
+                and now - one.heard >= self._timeout_ms
+            ):
                 self._fault("answer without an end, connection given up")
                 one.stream.close()
             elif one.calls and now - max(one.heard, one.calls[0].at) > FROZEN_TIMES * self._timeout_ms:
--- a/badgeryoke/diameter/client_link.py
+++ b/badgeryoke/diameter/client_link.py
@@ -26,18 +26,46 @@
 FULL_RETRY_MS = 1000.0  # advice where no further request can be remembered, or taken on a connection
 MOST_OUT = 1024  # requests of one connection that wait for their answers
 # What a CCR may hold with the M bit set; anything else so marked is not understood, and is refused.
-KNOWN = frozenset({
-    Code.SESSION_ID, Code.ORIGIN_HOST, Code.ORIGIN_REALM, Code.DESTINATION_REALM, Code.AUTH_APPLICATION_ID,
-    Code.SERVICE_CONTEXT_ID, Code.CC_REQUEST_TYPE, Code.CC_REQUEST_NUMBER, Code.DESTINATION_HOST,
-    Code.USER_NAME, Code.ACCT_MULTI_SESSION_ID, Code.ORIGIN_STATE_ID, Code.EVENT_TIMESTAMP,
-    Code.SUBSCRIPTION_ID, Code.SERVICE_IDENTIFIER, Code.REQUESTED_SERVICE_UNIT, Code.REQUESTED_ACTION,
-    Code.SERVICE_PARAMETER_INFO, Code.CC_CORRELATION_ID, Code.USER_EQUIPMENT_INFO, Code.PROXY_INFO,
-    Code.ROUTE_RECORD,
-})
+KNOWN = frozenset(
+    {
+        Code.SESSION_ID,
+        Code.ORIGIN_HOST,
+        Code.ORIGIN_REALM,
+        Code.DESTINATION_REALM,
+        Code.AUTH_APPLICATION_ID,
+        Code.SERVICE_CONTEXT_ID,
+        Code.CC_REQUEST_TYPE,
+        Code.CC_REQUEST_NUMBER,
+        Code.DESTINATION_HOST,
+        Code.USER_NAME,
+        Code.ACCT_MULTI_SESSION_ID,
+        Code.ORIGIN_STATE_ID,
+        Code.EVENT_TIMESTAMP,
+        Code.SUBSCRIPTION_ID,
+        Code.SERVICE_IDENTIFIER,
+        Code.REQUESTED_SERVICE_UNIT,
+        Code.REQUESTED_ACTION,
+        Code.SERVICE_PARAMETER_INFO,
+        Code.CC_CORRELATION_ID,
+        Code.USER_EQUIPMENT_INFO,
+        Code.PROXY_INFO,
+        Code.ROUTE_RECORD,
+    }
+)
 MANY = frozenset({Code.SUBSCRIPTION_ID, Code.SERVICE_PARAMETER_INFO, Code.PROXY_INFO, Code.ROUTE_RECORD})
-REQUIRED = (Code.SESSION_ID, Code.ORIGIN_HOST, Code.ORIGIN_REALM, Code.DESTINATION_REALM,
-            Code.AUTH_APPLICATION_ID, Code.SERVICE_CONTEXT_ID, Code.CC_REQUEST_TYPE, Code.CC_REQUEST_NUMBER,
-            Code.REQUESTED_ACTION, Code.SUBSCRIPTION_ID, Code.SERVICE_IDENTIFIER)
+REQUIRED = (
+    Code.SESSION_ID,
+    Code.ORIGIN_HOST,
+    Code.ORIGIN_REALM,
+    Code.DESTINATION_REALM,
+    Code.AUTH_APPLICATION_ID,
+    Code.SERVICE_CONTEXT_ID,
+    Code.CC_REQUEST_TYPE,
+    Code.CC_REQUEST_NUMBER,
+    Code.REQUESTED_ACTION,
+    Code.SUBSCRIPTION_ID,
+    Code.SERVICE_IDENTIFIER,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,8 +125,14 @@
         if code not in seen:
             return _missing(code)
     numbers: dict[int, int] = {}
-    for code in (Code.AUTH_APPLICATION_ID, Code.CC_REQUEST_TYPE, Code.CC_REQUEST_NUMBER,
-                 Code.REQUESTED_ACTION, Code.SERVICE_IDENTIFIER, Code.EVENT_TIMESTAMP):
+    for code in (
+        Code.AUTH_APPLICATION_ID,
+        Code.CC_REQUEST_TYPE,
+        Code.CC_REQUEST_NUMBER,
+        Code.REQUESTED_ACTION,
+        Code.SERVICE_IDENTIFIER,
+        Code.EVENT_TIMESTAMP,
+    ):
         if code in seen:
             number = codec.read_u32(seen[code])
             if isinstance(number, Fault):
@@ -135,16 +169,23 @@
     if isinstance(body, Fault):
         return body
     event = numbers.get(Code.EVENT_TIMESTAMP)
-    return Request(RequestIdentity(texts[1], message.end_to_end, texts[0], numbers[Code.CC_REQUEST_NUMBER]),
-                   numbers[Code.REQUESTED_ACTION], customer, numbers[Code.SERVICE_IDENTIFIER], units,
-                   None if event is None else event - codec.NTP_EPOCH, body)
+    return Request(
+        RequestIdentity(texts[1], message.end_to_end, texts[0], numbers[Code.CC_REQUEST_NUMBER]),
+        numbers[Code.REQUESTED_ACTION],
+        customer,
+        numbers[Code.SERVICE_IDENTIFIER],
+        units,
+        None if event is None else event - codec.NTP_EPOCH,
+        body,
+    )
 
 
 class Register(Actor):
     """Remembers across all connections what was asked, and puts it to the core once."""
 
-    def __init__(self, config: DiameterConfig, settings: Settings, core: Core, loop: Turns,
-                 clock: Callable[[], float]) -> None:
+    def __init__(
+        self, config: DiameterConfig, settings: Settings, core: Core, loop: Turns, clock: Callable[[], float]
+    ) -> None:
         super().__init__(loop)
         self._config, self._core, self._clock = config, core, clock
         self._repeats = Repeats(config.answers_kept_s, loop.time)
@@ -155,7 +196,11 @@
         self._gateways = settings.gateways
         self._safe, self._keyed = (
             next((c for c in settings.classes if c.effect is effect and name in (None, c.name)), None)
-            for effect, name in ((Effect.SAFE, self._config.check_class), (Effect.KEYED, self._config.debit_class)))
+            for effect, name in (
+                (Effect.SAFE, self._config.check_class),
+                (Effect.KEYED, self._config.debit_class),
+            )
+        )
 
     def ask(self, request: Request, repeated: bool, give: Callable[[Answer | Fault], None]) -> None:
         """Give the answer of a request, asked now, running already, or known; or what is wrong with it."""
@@ -198,8 +243,11 @@
         cls = self._keyed if debit else self._safe
         plan = self._config.plans.get(request.service)
         if cls is None or plan is None:
-            return Fault(Result.RATING_FAILED, "no such service here",
-                         codec.u32(Code.SERVICE_IDENTIFIER, request.service).encode())
+            return Fault(
+                Result.RATING_FAILED,
+                "no such service here",
+                codec.u32(Code.SERVICE_IDENTIFIER, request.service).encode(),
+            )
         send_by: float | None = None
         if debit and repeated:
             # Only a server that still knows the key can drop it.  An event's time is in whole seconds, cut
@@ -207,13 +255,23 @@
             began = None if request.event_time_s is None else request.event_time_s * 1000.0
             send_by = None if began is None else began + cls.window_ms
             if began is None or send_by is None or not began <= self._clock() < send_by:
-                return Fault(Result.UNABLE_TO_COMPLY,
-                             "the first try may have run, and is not known here: nothing was sent on")
+                return Fault(
+                    Result.UNABLE_TO_COMPLY,
+                    "the first try may have run, and is not known here: nothing was sent on",
+                )
         query = Query(
-            id=f"{random.getrandbits(64):016x}", cls=cls.name, plan=plan, customer=request.customer,
-            remaining_ms=self._config.deadline_ms or cls.deadline_ms, units=float(request.units or 1),
-            spread=self._gateways, retry=repeated, key=request.identity.key() if debit else "",
-            body=request.body, send_by_ms=send_by)
+            id=f"{random.getrandbits(64):016x}",
+            cls=cls.name,
+            plan=plan,
+            customer=request.customer,
+            remaining_ms=self._config.deadline_ms or cls.deadline_ms,
+            units=float(request.units or 1),
+            spread=self._gateways,
+            retry=repeated,
+            key=request.identity.key() if debit else "",
+            body=request.body,
+            send_by_ms=send_by,
+        )
         if problem := self._core.problem(query):
             return Fault(Result.INVALID_AVP_VALUE, problem)
         return query
@@ -222,8 +280,16 @@
 class DiameterFront(TCPServer):
     """Accepts Diameter clients."""
 
-    def __init__(self, config: DiameterConfig, settings: Settings, me: Identity, core: Core, loop: Turns,
-                 clock: Callable[[], float], most: int) -> None:
+    def __init__(
+        self,
+        config: DiameterConfig,
+        settings: Settings,
+        me: Identity,
+        core: Core,
+        loop: Turns,
+        clock: Callable[[], float],
+        most: int,
+    ) -> None:
         super().__init__(max_buffer_size=4 * codec.MAX_MESSAGE)
         self.config, self.me, self.loop = config, me, loop
         self.register = Register(config, settings, core, loop, clock)
@@ -281,8 +347,10 @@
             asked = request
             self._out_count += 1
             self._front.register.ask(
-                asked, bool(message.flags & codec.RETRANSMIT),
-                lambda answer: self.post(self._answered, message, asked, session, extra, answer))
+                asked,
+                bool(message.flags & codec.RETRANSMIT),
+                lambda answer: self.post(self._answered, message, asked, session, extra, answer),
+            )
 
     def _elsewhere(self, avps: list[Avp]) -> Fault | None:
         """A request for another realm or host: this gateway is no relay."""
@@ -293,8 +361,14 @@
             return Fault(Result.UNABLE_TO_DELIVER, "another host")
         return None
 
-    def _answered(self, message: Message, request: Request, session: Avp | None, extra: list[Avp],
-                  answer: Answer | Fault) -> None:
+    def _answered(
+        self,
+        message: Message,
+        request: Request,
+        session: Avp | None,
+        extra: list[Avp],
+        answer: Answer | Fault,
+    ) -> None:
         self._out_count -= 1
         if self.stream.closed():
             return
@@ -302,9 +376,11 @@
             case Fault():
                 self.reply_fault(message, answer, session, extra)
             case Served(value=value, true_units=units):
-                avps = [codec.u32(Code.AUTH_APPLICATION_ID, codec.CREDIT_CONTROL),
-                        codec.u32(Code.CC_REQUEST_TYPE, codec.EVENT_REQUEST),
-                        codec.u32(Code.CC_REQUEST_NUMBER, request.identity.number)]
+                avps = [
+                    codec.u32(Code.AUTH_APPLICATION_ID, codec.CREDIT_CONTROL),
+                    codec.u32(Code.CC_REQUEST_TYPE, codec.EVENT_REQUEST),
+                    codec.u32(Code.CC_REQUEST_NUMBER, request.identity.number),
+                ]
                 if request.action == codec.CHECK_BALANCE:
                     avps.append(codec.u32(Code.CHECK_BALANCE_RESULT, 0))  # ENOUGH_CREDIT
                 else:
@@ -314,8 +390,9 @@
                     avps.append(codec.value_avp(value))
                 self.reply(message, Result.SUCCESS, [*avps, *extra], session)
             case Refused(retry_after_ms=wait):
-                self.reply_fault(message, Fault(Result.TOO_BUSY, f"retry after {max(round(wait), 1)} ms"),
-                                 session, extra)
+                self.reply_fault(
+                    message, Fault(Result.TOO_BUSY, f"retry after {max(round(wait), 1)} ms"), session, extra
+                )
             case Failed(detail=detail):
                 self.reply_fault(message, Fault(Result.UNABLE_TO_COMPLY, detail), session, extra)
         if self._leaving and not self._out_count:
--- a/badgeryoke/diameter/codec.py
+++ b/badgeryoke/diameter/codec.py
@@ -112,8 +112,9 @@
         flags = self.flags | VENDOR if self.vendor else self.flags & ~VENDOR
         extra = struct.pack(">I", self.vendor) if self.vendor else b""
         length = 8 + len(extra) + len(self.data)
-        return b"".join((struct.pack(">II", self.code, flags << 24 | length), extra, self.data,
-                         b"\0" * (-length % 4)))
+        return b"".join(
+            (struct.pack(">II", self.code, flags << 24 | length), extra, self.data, b"\0" * (-length % 4))
+        )
 
 
 @dataclass(frozen=True, slots=True)
@@ -142,13 +143,28 @@
 
     def encode(self) -> bytes:
         length = HEADER + len(self.body)
-        return struct.pack(">IIIII", 1 << 24 | length, self.flags << 24 | self.command, self.application,
-                           self.hop_by_hop, self.end_to_end) + self.body
+        return (
+            struct.pack(
+                ">IIIII",
+                1 << 24 | length,
+                self.flags << 24 | self.command,
+                self.application,
+                self.hop_by_hop,
+                self.end_to_end,
+            )
+            + self.body
+        )
 
     def answer(self, avps: Iterable[Avp], error: bool = False) -> Message:
         """The answer to this request: the same ids, and the E bit for a protocol error."""
-        return Message(self.flags & PROXIABLE | (ERROR if error else 0), self.command, self.application,
-                       self.hop_by_hop, self.end_to_end, encode(avps))
+        return Message(
+            self.flags & PROXIABLE | (ERROR if error else 0),
+            self.command,
+            self.application,
+            self.hop_by_hop,
+            self.end_to_end,
+            encode(avps),
+        )
 
 
 class Framer:
@@ -186,8 +202,11 @@
                 return found
             if len(buffer) - at < length:
                 break
-            found.append(Message(head.flags, head.command, application, hop, end,
-                                 bytes(buffer[at + HEADER:at + length])))
+            found.append(
+                Message(
+                    head.flags, head.command, application, hop, end, bytes(buffer[at + HEADER : at + length])
+                )
+            )
             at += length
         del buffer[:at]
         return found
@@ -209,12 +228,15 @@
         head = 12 if flags & VENDOR else 8
         if length < head or at + length > len(body):
             # RFC 6733, 7.5: the offending AVP's header, its data filled up with zeroes.
-            return Fault(Result.INVALID_AVP_LENGTH, f"AVP {code} length {length}",
-                         struct.pack(">II", code, flags << 24 | head) + b"\0" * (head - 8))
+            return Fault(
+                Result.INVALID_AVP_LENGTH,
+                f"AVP {code} length {length}",
+                struct.pack(">II", code, flags << 24 | head) + b"\0" * (head - 8),
+            )
         if len(found) >= MAX_AVPS:
             return Fault(Result.UNABLE_TO_COMPLY, "too many AVPs")
         vendor = struct.unpack_from(">I", body, at + 8)[0] if head == 12 else 0
-        found.append(Avp(code, body[at + head:at + length], flags & ~VENDOR, vendor))
+        found.append(Avp(code, body[at + head : at + length], flags & ~VENDOR, vendor))
         at += length + (-length % 4)
     return found
 
@@ -284,8 +306,10 @@
 
 def value_avp(value: bytes) -> Avp:
     """What a query or its answer carries besides the standard AVPs."""
-    return group(Code.SERVICE_PARAMETER_INFO, [u32(Code.SERVICE_PARAMETER_TYPE, 1),
-                                               Avp(Code.SERVICE_PARAMETER_VALUE, value)])
+    return group(
+        Code.SERVICE_PARAMETER_INFO,
+        [u32(Code.SERVICE_PARAMETER_TYPE, 1), Avp(Code.SERVICE_PARAMETER_VALUE, value)],
+    )
 
 
 def value_of(avps: Iterable[Avp]) -> bytes | Fault | None:
--- a/badgeryoke/diameter/peer.py
+++ b/badgeryoke/diameter/peer.py
@@ -117,18 +117,23 @@
         avps += [codec.u32(Code.RESULT_CODE, result), *self.base(), *extra]
         self.send(request.answer(avps, result in FAILED_PROTOCOL))
 
-    def reply_fault(self, request: Message, fault: Fault, session: Avp | None = None,
-                    extra: list[Avp] | None = None) -> None:
+    def reply_fault(
+        self, request: Message, fault: Fault, session: Avp | None = None, extra: list[Avp] | None = None
+    ) -> None:
         avps = [codec.text(Code.ERROR_MESSAGE, fault.text, 0)]
         if fault.failed:
             avps.append(Avp(Code.FAILED_AVP, fault.failed + b"\0" * (-len(fault.failed) % 4)))
         self.reply(request, fault.result, avps + (extra or []), session)
 
     def capabilities(self) -> list[Avp]:
-        return [*self.base(), codec.address_avp(self.me.address), codec.u32(Code.VENDOR_ID, 0),
-                codec.text(Code.PRODUCT_NAME, "badgeryoke", 0),
-                codec.u32(Code.ORIGIN_STATE_ID, self.me.state_id),
-                codec.u32(Code.AUTH_APPLICATION_ID, codec.CREDIT_CONTROL)]
+        return [
+            *self.base(),
+            codec.address_avp(self.me.address),
+            codec.u32(Code.VENDOR_ID, 0),
+            codec.text(Code.PRODUCT_NAME, "badgeryoke", 0),
+            codec.u32(Code.ORIGIN_STATE_ID, self.me.state_id),
+            codec.u32(Code.AUTH_APPLICATION_ID, codec.CREDIT_CONTROL),
+        ]
 
     def request(self, command: int, avps: list[Avp]) -> None:
         """A request of the base protocol."""
@@ -232,8 +237,9 @@
             return
         else:
             self._asked = True
-            self.request(Command.DEVICE_WATCHDOG,
-                         [*self.base(), codec.u32(Code.ORIGIN_STATE_ID, self.me.state_id)])
+            self.request(
+                Command.DEVICE_WATCHDOG, [*self.base(), codec.u32(Code.ORIGIN_STATE_ID, self.me.state_id)]
+            )
         self._arm()
 
     def _exchange_late(self) -> None:
--- a/badgeryoke/diameter/server_link.py
+++ b/badgeryoke/diameter/server_link.py
@@ -34,8 +34,9 @@
     return f"{realm};{len(mark)};{low};{mark}", low
 
 
-def encode(query: Query, me: Identity, safe: bool, service: int | None, hop_by_hop: int,
-           repeat: bool) -> bytes:
+def encode(
+    query: Query, me: Identity, safe: bool, service: int | None, hop_by_hop: int, repeat: bool
+) -> bytes:
     """The CCR of an event."""
     session, end_to_end = session_of(query, me.realm)
     avps = [
@@ -48,9 +49,13 @@
         codec.u32(Code.CC_REQUEST_TYPE, codec.EVENT_REQUEST),
         codec.u32(Code.CC_REQUEST_NUMBER, 0),
         codec.u32(Code.REQUESTED_ACTION, codec.CHECK_BALANCE if safe else codec.DIRECT_DEBITING),
-        codec.group(Code.SUBSCRIPTION_ID, [
-            codec.u32(Code.SUBSCRIPTION_ID_TYPE, codec.END_USER_PRIVATE),
-            codec.text(Code.SUBSCRIPTION_ID_DATA, f"{query.customer:016x}")]),
+        codec.group(
+            Code.SUBSCRIPTION_ID,
+            [
+                codec.u32(Code.SUBSCRIPTION_ID_TYPE, codec.END_USER_PRIVATE),
+                codec.text(Code.SUBSCRIPTION_ID_DATA, f"{query.customer:016x}"),
+            ],
+        ),
         codec.units_avp(Code.REQUESTED_SERVICE_UNIT, query.units),
     ]
     if service is not None:
@@ -58,8 +63,9 @@
     if query.body is not None:
         avps.append(codec.value_avp(query.body))
     flags = codec.REQUEST | codec.PROXIABLE | (codec.RETRANSMIT if repeat else 0)
-    return Message(flags, Command.CREDIT_CONTROL, codec.CREDIT_CONTROL, hop_by_hop, end_to_end,
-                   codec.encode(avps)).encode()
+    return Message(
+        flags, Command.CREDIT_CONTROL, codec.CREDIT_CONTROL, hop_by_hop, end_to_end, codec.encode(avps)
+    ).encode()
 
 
 def settle(execution: Execution, avps: list[Avp] | Fault) -> str | None:
@@ -187,9 +193,19 @@
 class DiameterServerLink(Actor):
     """One Diameter server: connected when first needed, and again when needed after a loss."""
 
-    def __init__(self, address: tuple[str, int], loop: Turns, clock: Callable[[], float], *, me: Identity,
-                 services: dict[str, int], connect_ms: float, idle_ms: float,
-                 watchdog_s: float, lease: Lease | None = None) -> None:
+    def __init__(
+        self,
+        address: tuple[str, int],
+        loop: Turns,
+        clock: Callable[[], float],
+        *,
+        me: Identity,
+        services: dict[str, int],
+        connect_ms: float,
+        idle_ms: float,
+        watchdog_s: float,
+        lease: Lease | None = None,
+    ) -> None:
         super().__init__(loop)
         self.lease = lease  # where the fleet keeps the server's limit
         self.address, self.clock, self.me = address, clock, me
@@ -207,8 +223,11 @@
     def _start(self, execution: Execution) -> None:
         if self.draining:
             execution.lost("server is gone")
-        elif self._connection is not None and self._connection.state is State.OPEN and (
-                self.lease is None or self.lease.held()):
+        elif (
+            self._connection is not None
+            and self._connection.state is State.OPEN
+            and (self.lease is None or self.lease.held())
+        ):
             self._connection.post(self._connection.write, execution)
         elif len(self._waiting) >= MOST_OUT:
             execution.moot("too many attempts wait for the connection")
@@ -222,7 +241,9 @@
         if self.lease is not None and not self.lease.may_open():
             return  # whoever waits has its time
         try:
-            stream, coming_up = (dial if self.lease is None else self.lease.dial)(self.address, 4 * codec.MAX_MESSAGE)
+            stream, coming_up = (dial if self.lease is None else self.lease.dial)(
+                self.address, 4 * codec.MAX_MESSAGE
+            )
         except OSError as fault:
             self.complain(f"no socket: {fault}")
             waiting, self._waiting = self._waiting, []
@@ -294,8 +315,12 @@
     def sweep(self) -> None:
         """Part from a server that has not been needed for long; called now and then."""
         connection = self._connection
-        if (connection is not None and connection.state is State.OPEN and not connection.out
-                and self._loop.time() - connection.used_at > self._idle_s):
+        if (
+            connection is not None
+            and connection.state is State.OPEN
+            and not connection.out
+            and self._loop.time() - connection.used_at > self._idle_s
+        ):
             connection.post(connection.disconnect, codec.DO_NOT_WANT_TO_TALK_TO_YOU)
 
     def drain(self) -> None:
--- a/badgeryoke/execution.py
+++ b/badgeryoke/execution.py
@@ -73,12 +73,36 @@
 class Execution:
     """One attempt.  Its first end counts, and every later one is ignored."""
 
-    __slots__ = ("_on_end", "_on_written", "attempt", "begun", "deadline_ms", "final", "on_abandon",
-                 "on_begun", "query", "relay", "repeat", "server", "stage", "started_ms", "write_by_ms")
-
-    def __init__(self, query: Query, attempt: int, server: int, started_ms: float, deadline_ms: float,
-                 on_end: Callable[[Execution, End], None], repeat: bool = False,
-                 on_written: Callable[[], None] | None = None, write_by_ms: float = math.inf) -> None:
+    __slots__ = (
+        "_on_end",
+        "_on_written",
+        "attempt",
+        "begun",
+        "deadline_ms",
+        "final",
+        "on_abandon",
+        "on_begun",
+        "query",
+        "relay",
+        "repeat",
+        "server",
+        "stage",
+        "started_ms",
+        "write_by_ms",
+    )
+
+    def __init__(
+        self,
+        query: Query,
+        attempt: int,
+        server: int,
+        started_ms: float,
+        deadline_ms: float,
+        on_end: Callable[[Execution, End], None],
+        repeat: bool = False,
+        on_written: Callable[[], None] | None = None,
+        write_by_ms: float = math.inf,
+    ) -> None:
         self.query, self.attempt, self.server = query, attempt, server
         self.started_ms, self.deadline_ms = started_ms, deadline_ms
         self.repeat = repeat  # an earlier attempt may have run, and ...
@@ -143,8 +167,14 @@
         self.final = final
         self._end(verdict if self.begun else Verdict.CONNECT_FAILED, detail="given up")
 
-    def _end(self, verdict: Verdict, value: bytes = b"", true_units: float = 0.0,
-             report: tuple[float, ...] = (), detail: str = "") -> None:
+    def _end(
+        self,
+        verdict: Verdict,
+        value: bytes = b"",
+        true_units: float = 0.0,
+        report: tuple[float, ...] = (),
+        detail: str = "",
+    ) -> None:
         if self.stage is Stage.ENDED:
             return
         reached, self.stage = self.stage, Stage.ENDED
--- a/badgeryoke/fleet/calls.py
+++ b/badgeryoke/fleet/calls.py
@@ -23,9 +23,25 @@
 MOST_ID = 128
 STATUS = "status"
 # What an operator may ask for; all others are the fleet's own, and would break its order.
-OPERATORS = frozenset({
-    "Promise", "PromiseRead", "Capacity", "Propose", "Change", "CancelContract", "ContractsRead", "RollAsk",
-    "RollCancel", "RollResume", "RollRead", "RollsRead", "Places", "Limit", "Unlimit"})
+OPERATORS = frozenset(
+    {
+        "Promise",
+        "PromiseRead",
+        "Capacity",
+        "Propose",
+        "Change",
+        "CancelContract",
+        "ContractsRead",
+        "RollAsk",
+        "RollCancel",
+        "RollResume",
+        "RollRead",
+        "RollsRead",
+        "Places",
+        "Limit",
+        "Unlimit",
+    }
+)
 ALSO = {"put": "promise", "get": "promiseread", "cancel": "cancelcontract", "read": "contractsread"}
 
 
@@ -57,14 +73,19 @@
     if kind is None:
         names = [STATUS, *sorted(one.__name__ for one in kinds.values())]
         close = difflib.get_close_matches(word[:64], names, 1)
-        return BadCall("do", f"{word[:64]!r} is unknown; " + (
-            f"did you mean {close[0]}?" if close else f"known are {', '.join(names)}"))
+        return BadCall(
+            "do",
+            f"{word[:64]!r} is unknown; "
+            + (f"did you mean {close[0]}?" if close else f"known are {', '.join(names)}"),
+        )
     fields = [field.encode_name for field in msgspec.structs.fields(kind)]
     for key in given:
         if key not in fields:
             close = difflib.get_close_matches(key[:64], fields, 1)
-            return BadCall(key[:64], "unknown; " + (
-                f"did you mean {close[0]}?" if close else f"known are {', '.join(fields)}"))
+            return BadCall(
+                key[:64],
+                "unknown; " + (f"did you mean {close[0]}?" if close else f"known are {', '.join(fields)}"),
+            )
     if kind.reads:
         given.setdefault("id", secrets.token_hex(8))
     elif "id" not in given:
@@ -88,5 +109,10 @@
     if error is None:
         assert isinstance(result, Applied)
         return b"+OK " + msgspec.json.encode(result.value) + b"\n"
-    return b"-ERR " + msgspec.json.encode({
-        **msgspec.to_builtins(error), "error": error.code, "do": error.do, "retry": error.retry}) + b"\n"
+    return (
+        b"-ERR "
+        + msgspec.json.encode(
+            {**msgspec.to_builtins(error), "error": error.code, "do": error.do, "retry": error.retry}
+        )
+        + b"\n"
+    )
--- a/badgeryoke/fleet/links.py
+++ b/badgeryoke/fleet/links.py
@@ -5,13 +5,14 @@
               without, to be answered
     acceptor  one without messages for each such one
 
-Whoever has something to say dials.  What waits for one peer never holds up another: each has its own queue, bounded in
-messages and bytes; at the bound the oldest probes, heartbeats and votes go first, then the oldest of all.  Everything
-above allows for loss.  A peer that does not read, or of which nothing is heard while something was sent, is dropped
-with what waited for it, and dialled again after a pause that doubles and is jittered; at once where it has dialled.
-
-A frame that does not read, of another version, fleet or incarnation ends its connection with a `FleetError`, told once
-in ten minutes for each peer and kind.  There is no secret in a hello: the addresses belong into a
+Whoever has something to say dials.  What waits for one peer never holds up another: each has its own queue,
+bounded in messages and bytes; at the bound the oldest probes, heartbeats and votes go first, then the oldest
+of all.  Everything above allows for loss.  A peer that does not read, or of which nothing is heard while
+something was sent, is dropped with what waited for it, and dialled again after a pause that doubles and is
+jittered; at once where it has dialled.
+
+A frame that does not read, of another version, fleet or incarnation ends its connection with a `FleetError`,
+told once in ten minutes for each peer and kind.  There is no secret in a hello: the addresses belong into a
 network of the fleet's own.
 """
 
@@ -32,7 +33,20 @@
 
 from badgeryoke.actor import dial
 from fleet.errors import AnotherFleet, BadFrame, FleetError, StaleIncarnation
-from fleet.messages import VERSION, Ack, AnyMessage, Append, Ask, Envelope, Id, Nack, Ping, PingFor, Vote, name_of
+from fleet.messages import (
+    VERSION,
+    Ack,
+    AnyMessage,
+    Append,
+    Ask,
+    Envelope,
+    Id,
+    Nack,
+    Ping,
+    PingFor,
+    Vote,
+    name_of,
+)
 
 log = logging.getLogger("badgeryoke.fleet")
 
@@ -188,13 +202,20 @@
 class Links:
     """All links of one member.
 
-    `receive` is told the sender's Id and the messages of one frame; `tell` each error once.  Members are known by
-    their addresses; a message to anybody else is dropped.
+    `receive` is told the sender's Id and the messages of one frame; `tell` each error once.  Members are
+    known by their addresses; a message to anybody else is dropped.
     """
 
-    def __init__(self, fleet: str, me: Id, members: Mapping[str, tuple[str, int]],
-                 receive: Callable[[Id, tuple[AnyMessage, ...]], None], tell: Callable[[FleetError], None],
-                 draw: Random, bounds: Bounds | None = None) -> None:
+    def __init__(
+        self,
+        fleet: str,
+        me: Id,
+        members: Mapping[str, tuple[str, int]],
+        receive: Callable[[Id, tuple[AnyMessage, ...]], None],
+        tell: Callable[[FleetError], None],
+        draw: Random,
+        bounds: Bounds | None = None,
+    ) -> None:
         self.fleet, self.me, self.bounds = fleet, me, bounds or Bounds()
         self._receive, self._tell, self._draw = receive, tell, draw
         self.peers = {name: Peer(name, address) for name, address in members.items() if name != name_of(me)}
@@ -217,8 +238,8 @@
         loop.call_later(self.bounds.sweep_s, self._sweep)
 
     def greet(self) -> None:
-        """Dial everybody: whoever leads a group with a copy here may wait long before it tries an address again that
-        was silent."""
+        """Dial everybody: whoever leads a group with a copy here may wait long before it tries an address
+        again that was silent."""
         for peer in self.peers.values():
             if peer.task is None:
                 peer.task = self._run(self._speak(peer, True))
@@ -269,7 +290,9 @@
         """One connection of another."""
         bounds = self.bounds
         try:
-            first = await asyncio.wait_for(_next_frame(stream, bounds.most_frame, self.fleet, whom), bounds.hello_s)
+            first = await asyncio.wait_for(
+                _next_frame(stream, bounds.most_frame, self.fleet, whom), bounds.hello_s
+            )
             if isinstance(error := self._greeted(stream, first, whom), FleetError):
                 self._error(error)
             # Also to a stranger: it learns who is here, and its operator what is wrong.
@@ -277,7 +300,9 @@
             if isinstance(error, FleetError):
                 return
             sender = error
-            while not isinstance(taken := await _next_frame(stream, bounds.most_frame, self.fleet, sender), FleetError):
+            while not isinstance(
+                taken := await _next_frame(stream, bounds.most_frame, self.fleet, sender), FleetError
+            ):
                 if isinstance(wrong := self._misdirected(taken, sender), FleetError):
                     self._error(wrong)
                     return
@@ -317,7 +342,9 @@
         self._latest[name] = first.sender
         self._inbound[stream] = name
         peer = self.peers[name]
-        if not peer.up:  # it is there again, and waits for answers: a pause that grew while it was away is over
+        if (
+            not peer.up
+        ):  # it is there again, and waits for answers: a pause that grew while it was away is over
             peer.pause = peer.not_before = 0.0
             peer.back.set()
         return first.sender
@@ -340,7 +367,9 @@
             return
         body = _encoder.encode(message)
         if len(body) + HEAD > self.bounds.most_frame:
-            self._error(BadFrame(to, f"a {type(message).__name__} of {len(body)} bytes is more than a frame holds"))
+            self._error(
+                BadFrame(to, f"a {type(message).__name__} of {len(body)} bytes is more than a frame holds")
+            )
             return
         light = isinstance(message, _LIGHT) or (isinstance(message, Append) and not message.entries)
         peer.add(to, body, light, self.bounds)
@@ -348,8 +377,8 @@
             peer.task = self._run(self._speak(peer))
 
     async def _speak(self, peer: Peer, greet: bool = False) -> None:
-        """Dial while there is something to say, and once in any case with `greet`.  What waited when that failed is
-        lost: it is old by the time the peer is back, and whoever is above says it anew."""
+        """Dial while there is something to say, and once in any case with `greet`.  What waited when that
+        failed is lost: it is old by the time the peer is back, and whoever is above says it anew."""
         bounds, loop = self.bounds, asyncio.get_running_loop()
         try:
             while (peer.count or greet) and not self._ended:
@@ -376,11 +405,14 @@
         listening: asyncio.Task[None] | None = None
         try:
             with contextlib.suppress(OSError):
-                stream.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(bounds.stall_s * 1000))
+                stream.socket.setsockopt(
+                    socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(bounds.stall_s * 1000)
+                )
             await asyncio.wait_for(connecting, bounds.connect_s)
             await asyncio.wait_for(stream.write(self._hello(peer.name)), bounds.hello_s)
-            said = await asyncio.wait_for(_next_frame(stream, bounds.most_frame, self.fleet, peer.name),
-                                          bounds.hello_s)
+            said = await asyncio.wait_for(
+                _next_frame(stream, bounds.most_frame, self.fleet, peer.name), bounds.hello_s
+            )
             if not isinstance(said, FleetError) and name_of(said.sender) != peer.name:
                 said = AnotherFleet(peer.name, f"{said.sender[:64]!r} answers at its address")
             if isinstance(said, FleetError):
@@ -415,7 +447,8 @@
                 continue
             body = _encoder.encode((VERSION, self.fleet, self.me, to, bodies))
             out = len(body).to_bytes(4, "big") + body
-            # Half open: what is written is taken, and nobody is there.  So now and then it is asked for a word.
+            # Half open: what is written is taken, and nobody is there.  So now and then it is asked for a
+            # word.
             if peer.asked is None and loop.time() >= peer.ask_at:
                 peer.asked, peer.ask_at = loop.time(), loop.time() + bounds.ask_s
                 out += self._hello(peer.name)
@@ -452,8 +485,10 @@
 
     def status(self) -> dict[str, Any]:
         """For operators: each peer, whether it is linked, what waits, what was sent and lost."""
-        return {peer.name: {"up": peer.up, "waiting": peer.count, "sent": peer.sent, "lost": peer.lost}
-                for peer in self.peers.values()}
+        return {
+            peer.name: {"up": peer.up, "waiting": peer.count, "sent": peer.sent, "lost": peer.lost}
+            for peer in self.peers.values()
+        }
 
     def _hello(self, to: str = "") -> bytes:
         return frame(Envelope(VERSION, self.fleet, self.me, to, ()))
--- a/badgeryoke/fleet/pools.py
+++ b/badgeryoke/fleet/pools.py
@@ -1,8 +1,9 @@
 """Server links under leases, and a roll's hand on this gateway: the shell around `Keeper` and `Rolled`.
 
-A link dials by its `Lease`, and asks it before each use of a connection.  A connection counts from before its first
-packet until the server has let go of it: whatever closes the stream half-closes the socket, which then waits here for
-the server's end, a reset, or the end of the server's idle time.  So closing costs a link nothing and waits for nobody.
+A link dials by its `Lease`, and asks it before each use of a connection.  A connection counts from before its
+first packet until the server has let go of it: whatever closes the stream half-closes the socket, which then
+waits here for the server's end, a reset, or the end of the server's idle time.  So closing costs a link
+nothing and waits for nobody.
 
 All times are ms of the fleet's clock here, which never steps.
 """
@@ -32,7 +33,8 @@
 
 LOOK_S = 0.05  # between two looks at what has to be closed, and at what a roll wants
 SIFT_MS = 5000.0  # between two looks for limits that nobody needs any more
-GONE_MS = 60_000.0  # for which a server is on no list here, and nobody holds a lease on it, until its limit is forgotten
+# for which a server is on no list here, and nobody holds a lease on it, until its limit is forgotten
+GONE_MS = 60_000.0
 MOST_GONE = 64  # limits taken back at one look
 BOOT = Path("/proc/sys/kernel/random/boot_id")
 
@@ -119,12 +121,15 @@
 
 
 class Pools:
-    """All server links of a gateway that keeps servers' limits, and its stand in a roll.  A `fleet.node.Holder`.
+    """All server links of a gateway that keeps servers' limits, and its stand in a roll.  A
+    `fleet.node.Holder`.
 
     `idle_ms`: so long after a connection's last use servers have closed it for sure.
     """
 
-    def __init__(self, fleet: Fleet, loop: Turns, now: Callable[[], float], idle_ms: float, gateway: Gateway) -> None:
+    def __init__(
+        self, fleet: Fleet, loop: Turns, now: Callable[[], float], idle_ms: float, gateway: Gateway
+    ) -> None:
         self._named, self._any = dict(fleet.servers.limits), fleet.servers.connections
         self.idle_ms, self.now = idle_ms, now
         self._loop, self._gateway, self._events = loop, gateway, asyncio.get_running_loop()
@@ -140,17 +145,19 @@
         self._timer: asyncio.TimerHandle | None = None
         self._told = False  # of a list
         self._sift_at = 0.0
-        self._missing: dict[str, float] = {}  # limits in groups led here, of servers that are not listed, since when
+        self._missing: dict[
+            str, float
+        ] = {}  # limits in groups led here, of servers that are not listed, since when
 
     def begin(self, node: object, rules: Invariants) -> None:
-        """The node is there, and with it the lock on the member's folder.  One that is only driven has no leases."""
+        """The node is there, and with it the lock on the member's folder.  One that is only driven has no
+        leases."""
         if not isinstance(node, Node):
             return
         boot = BOOT.read_text().strip() if BOOT.exists() else ""
         me = process(node.me, boot, secrets.token_hex(6))
         self.keeper = Keeper(me, node.setup.timings, rules, self.now(), self.alone)
-        self.rolled = Rolled(node.setup.me, me, len(node.setup.members),
-                             self._look_soon)
+        self.rolled = Rolled(node.setup.me, me, len(node.setup.members), self._look_soon)
         self._node = node
         node.limits = dict(self._limits)
         if not node.setup.capacity:
@@ -248,8 +255,14 @@
         made = self.keeper.poll(now, wall)
         for server in self.keeper.unknown:  # whoever leads its group has no list that names it
             if most := self._limits.get(server):
-                made.append(Limit(id=f"limit/{self.keeper.me}/{server}/{now:.0f}", server=server, most=most,
-                                  idle_ms=self.idle_ms))
+                made.append(
+                    Limit(
+                        id=f"limit/{self.keeper.me}/{server}/{now:.0f}",
+                        server=server,
+                        most=most,
+                        idle_ms=self.idle_ms,
+                    )
+                )
         self.keeper.unknown.clear()
         if now >= self._sift_at and self._told:
             self._sift_at = now + SIFT_MS
@@ -257,9 +270,11 @@
         return made
 
     def _sift(self, now: float) -> list[Command]:
-        """Limits of servers that are no more, in groups led here: off this gateway's list for long, and unused by all.
+        """Limits of servers that are no more, in groups led here: off this gateway's list for long, and
+        unused by all.
 
-        A gateway whose list still names one and that wants it is told that no limit is known, and states it again."""
+        A gateway whose list still names one and that wants it is told that no limit is known, and states it
+        again."""
         assert self._node is not None
         missing: dict[str, float] = {}
         made: list[Command] = []
@@ -317,8 +332,10 @@
         rolled.tell(
             leads=sum(one.leading for one in replicas),
             trimmed=all(pool.open - pool.closing <= pool.need for pool in keeper.pools.values()),
-            drained=self._gateway.drained, empty=not self._gateway.unanswered and keeper.empty,
-            whole=node.founding.record is not None and all(one.whole for one in replicas))
+            drained=self._gateway.drained,
+            empty=not self._gateway.unanswered and keeper.empty,
+            whole=node.founding.record is not None and all(one.whole for one in replicas),
+        )
         for duty in rolled.duties(now):
             log.info("roll %s: %s", rolled.record.get("roll"), duty.name.lower())
             if duty is Duty.LEAVE:
--- a/badgeryoke/fleet/service.py
+++ b/badgeryoke/fleet/service.py
@@ -1,7 +1,8 @@
 """The shell around `fleet.node`: brings it events, carries out its effects, and decides nothing.
 
-A gateway's share in the fleet may end before the gateway does: a store that breaks, or a rule of the code that does not
-hold, ends what this member promises, with an error that calls and `status` tell; requests go on.
+A gateway's share in the fleet may end before the gateway does: a store that breaks, or a rule of the code
+that does not hold, ends what this member promises, with an error that calls and `status` tell; requests go
+on.
 """
 
 from __future__ import annotations
@@ -84,22 +85,39 @@
     servers = dict(fleet.servers.limits)
     if fleet.servers.connections:
         servers[ANY] = fleet.servers.connections
-    return Setup(fleet.name, fleet.me or name, incarnation,
-                 tuple(Member(one.name, one.hall, one.address) for one in fleet.members),
-                 fleet.copies, fleet.groups, fleet.timings, fleet.capacity, servers)
+    return Setup(
+        fleet.name,
+        fleet.me or name,
+        incarnation,
+        tuple(Member(one.name, one.hall, one.address) for one in fleet.members),
+        fleet.copies,
+        fleet.groups,
+        fleet.timings,
+        fleet.capacity,
+        servers,
+    )
 
 
 class Service:
-    """This gateway's share in the fleet.  `now` (ms) never steps; the wall clock is read once, at the start."""
-
-    def __init__(self, fleet: Fleet, name: str, make: MakeNode | None = None, now: Callable[[], float] = boot_ms,
-                 unix: Callable[[], float] = time.time) -> None:
+    """This gateway's share in the fleet.  `now` (ms) never steps; the wall clock is read once, at the
+    start."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        name: str,
+        make: MakeNode | None = None,
+        now: Callable[[], float] = boot_ms,
+        unix: Callable[[], float] = time.time,
+    ) -> None:
         self.fleet, self.me = fleet, fleet.me or name
         self._make: MakeNode = make or Node
         self._now = self.now = now
         self.pools: Pools | None = None  # where the gateway has given its server links
         self.floor: Floor | None = None  # this gateway's parts of contracts, from when the node is made
-        self.on_floor: Callable[[Floor, Callable[[], float]], None] | None = None  # told of it, and of its clock
+        self.on_floor: Callable[[Floor, Callable[[], float]], None] | None = (
+            None  # told of it, and of its clock
+        )
         self._wall_less_now = unix() * 1000.0 - now()
         self._loop = asyncio.get_running_loop()
         self.rules = Invariants(strict=False, noted=self._noted)
@@ -169,14 +187,24 @@
         self._force(opened, setup.id)
         self._writer = StoreWriter(opened, self._loop.call_soon_threadsafe, self._stored, self._store_broke)
         addresses = {one.name: split_address(one.address) for one in self.fleet.members}
-        self.links = Links(self.fleet.name, setup.id, addresses,
-                           self._received, self._link_error, Random(secrets.randbits(64)))
-        self.node = self._make(setup, opened.saved, Random(secrets.randbits(64)), self._now(), self.wall(), self.rules)
+        self.links = Links(
+            self.fleet.name,
+            setup.id,
+            addresses,
+            self._received,
+            self._link_error,
+            Random(secrets.randbits(64)),
+        )
+        self.node = self._make(
+            setup, opened.saved, Random(secrets.randbits(64)), self._now(), self.wall(), self.rules
+        )
         opened.saved = {}  # the node's own from here on
         if self.pools is not None:
             self.pools.begin(self.node, self.rules)
             self.pools.wake = self._wake
-        if isinstance(holders := getattr(self.node, "holders", None), list):  # a node that is only driven has none
+        if isinstance(
+            holders := getattr(self.node, "holders", None), list
+        ):  # a node that is only driven has none
             hall = next(one.hall for one in setup.members if one.name == setup.me)
             self.floor = Floor(setup.id, secrets.token_hex(4), setup.timings, hall, len(setup.members))
             self.floor.wake = self._wake
@@ -185,8 +213,13 @@
                 self.on_floor(self.floor, self.now)
         self.links.listen(sockets)
         self.links.greet()
-        log.info("fleet %s: member %s, %d members, %d groups held", self.fleet.name, setup.id,
-                 len(setup.members), len(opened._groups))
+        log.info(
+            "fleet %s: member %s, %d members, %d groups held",
+            self.fleet.name,
+            setup.id,
+            len(setup.members),
+            len(opened._groups),
+        )
         self._feed(Tick())
 
     async def _bind(self) -> list[socket.socket]:
@@ -211,14 +244,27 @@
                 continue
             made = forced(saved, group, me, lost, self.wall())
             if made is saved:
-                log.warning("fleet.forced.%s: nothing to do: done already, or these are not all its other members; "
-                            "take the line out again", group)
+                log.warning(
+                    "fleet.forced.%s: nothing to do: done already, or these are not all its other members; "
+                    "take the line out again",
+                    group,
+                )
                 continue
-            disk.write([Store(group, 0, (HardState(made.term, made.vote),
-                                         Entries(made.entries[len(saved.entries):])))])
+            disk.write(
+                [
+                    Store(
+                        group,
+                        0,
+                        (HardState(made.term, made.vote), Entries(made.entries[len(saved.entries) :])),
+                    )
+                ]
+            )
             disk.saved[group] = made
-            log.warning("fleet.forced.%s: BY HAND, the group goes on from this copy alone, without %s", group,
-                        ", ".join(lost))
+            log.warning(
+                "fleet.forced.%s: BY HAND, the group goes on from this copy alone, without %s",
+                group,
+                ", ".join(lost),
+            )
 
     # Events in, effects out.
 
@@ -232,7 +278,9 @@
                 effects = self.node.handle(self._now(), self.wall(), event)
             except Exception:
                 log.exception("the fleet's part failed at %s", type(event).__name__)
-                self._halt(InvariantBroken(self.me, f"it failed at {type(event).__name__}; the log has the cause"))
+                self._halt(
+                    InvariantBroken(self.me, f"it failed at {type(event).__name__}; the log has the cause")
+                )
                 return
             if self.rules.count > self._broken:  # what it wants now is built on what does not hold
                 rule, facts = self.rules.broken[-1]
@@ -323,12 +371,18 @@
         if len(self._calls) >= MOST_CALLS:
             return Crowded(self.me, f"{MOST_CALLS} calls are under way at this member")
         try:
-            result: Any = await asyncio.wait_for(self._ask(lambda token: Call(token, command)),
-                                                 self.fleet.timings.call_ms * 2.0 / 1000.0)
+            result: Any = await asyncio.wait_for(
+                self._ask(lambda token: Call(token, command)), self.fleet.timings.call_ms * 2.0 / 1000.0
+            )
         except TimeoutError:
             return UnknownOutcome(command.id, "no answer in time")
-        return result if isinstance(result, FleetError) else Applied(result) if not isinstance(
-            result, Applied) else result
+        return (
+            result
+            if isinstance(result, FleetError)
+            else Applied(result)
+            if not isinstance(result, Applied)
+            else result
+        )
 
     async def _ask(self, event: Callable[[str], NodeEvent]) -> Any:
         self._last_token += 1
@@ -357,11 +411,15 @@
             found |= self.node.status()
         errors = [error for error in (self.failed, self.store_failed) if error is not None]
         return found | {
-            "fleet": self.fleet.name, "broken": self.rules.count, "errors": [str(error) for error in errors],
+            "fleet": self.fleet.name,
+            "broken": self.rules.count,
+            "errors": [str(error) for error in errors],
             "store": {"transactions": self._writer.transactions, "records": self._writer.records}
-            if self._writer is not None else {},
+            if self._writer is not None
+            else {},
             "links": self.links.status() if self.links is not None else {},
-            "contracts": self.floor.status(self._now()) if self.floor is not None else {}}
+            "contracts": self.floor.status(self._now()) if self.floor is not None else {},
+        }
 
     # The end.
 
--- a/badgeryoke/fleet/settings.py
+++ b/badgeryoke/fleet/settings.py
@@ -49,7 +49,8 @@
     capacity: float = 0.0  # units a second that contracts may take in all; 0: none can be made
     servers: Servers = msgspec.field(default_factory=Servers)
     fsync: bool = True  # false: a death of the machine may take back what was acknowledged
-    # The one act by hand, for a group whose majority is lost for good: group = the Ids (name/incarnation) given up.
+    # The one act by hand, for a group whose majority is lost for good: group = the Ids (name/incarnation)
+    # given up.
     forced: dict[str, tuple[str, ...]] = msgspec.field(default_factory=dict)
 
 
@@ -94,10 +95,16 @@
     twice = {kind: Counter(getattr(one, kind) for one in made.members) for kind in ("name", "address")}
     for at, one in enumerate(made.members):
         path = f"fleet.members[{at}]"
-        found += [f"{path}.{key}: expected 1 to 48 letters, digits, '.', '_' or '-', got {getattr(one, key)!r}"
-                  for key in ("name", "hall") if not NAME.fullmatch(getattr(one, key))]
-        found += [f"{path}.{kind}: {getattr(one, kind)!r} stands twice"
-                  for kind, those in twice.items() if those[getattr(one, kind)] > 1]
+        found += [
+            f"{path}.{key}: expected 1 to 48 letters, digits, '.', '_' or '-', got {getattr(one, key)!r}"
+            for key in ("name", "hall")
+            if not NAME.fullmatch(getattr(one, key))
+        ]
+        found += [
+            f"{path}.{kind}: {getattr(one, kind)!r} stands twice"
+            for kind, those in twice.items()
+            if those[getattr(one, kind)] > 1
+        ]
         try:
             split_address(one.address)
         except ValueError:
--- a/badgeryoke/fleet/store.py
+++ b/badgeryoke/fleet/store.py
@@ -1,8 +1,8 @@
-"""What a member keeps on stable storage, in SQLite's write-ahead log: one transaction and one fsync for whatever many
-groups ask for at once.
+"""What a member keeps on stable storage, in SQLite's write-ahead log: one transaction and one fsync for
+whatever many groups ask for at once.
 
-What was acknowledged is either given back as it was written, or the member is told that its store is damaged and begins
-anew under a new incarnation.  Nothing is repaired by guessing:
+What was acknowledged is either given back as it was written, or the member is told that its store is damaged
+and begins anew under a new incarnation.  Nothing is repaired by guessing:
 
 - each record has a CRC-32, entries chained by index within their group; each group's row says where its log ends and on
   what checksum, one row for all says what the groups' rows come to;
@@ -42,7 +42,9 @@
 FORMAT = 1
 NAME, TOLD, LOCK, NEW = f"store-{FORMAT}.db", "told", "lock", "new.db"
 MOST_KEPT = 4  # damaged stores; beyond it the oldest goes
-MOST_WAITING = 64 * 1024 * 1024  # bytes asked for and not yet written; at the bound the store counts as failed
+MOST_WAITING = (
+    64 * 1024 * 1024
+)  # bytes asked for and not yet written; at the bound the store counts as failed
 CACHE_KB = 1024
 HELD = "another process holds it"
 _TOLD = struct.Struct(">QI")
@@ -106,8 +108,8 @@
     _groups: dict[str, _Group] = field(default_factory=dict)
 
     def write(self, stores: Sequence[Store]) -> None:
-        """All of it in one transaction, on stable storage when this comes back.  Raises sqlite3.Error, OSError or
-        Damage; nothing may be written behind that."""
+        """All of it in one transaction, on stable storage when this comes back.  Raises sqlite3.Error,
+        OSError or Damage; nothing may be written behind that."""
         db, touched = self._db, dict[str, None]()
         db.execute("BEGIN IMMEDIATE")
         for one in stores:
@@ -122,7 +124,9 @@
             self._whole ^= group.sum
             group.sum = _sum(name, *group.row())
             self._whole ^= group.sum
-            db.execute("REPLACE INTO part VALUES (?, ?, ?, ?, ?, ?, ?, ?, ?)", (name, *group.row(), group.sum))
+            db.execute(
+                "REPLACE INTO part VALUES (?, ?, ?, ?, ?, ?, ?, ?, ?)", (name, *group.row(), group.sum)
+            )
         self._step += 1
         db.execute("REPLACE INTO store VALUES (1, ?, ?, ?, ?, ?, ?)", self._row())
         db.execute("COMMIT")
@@ -152,15 +156,19 @@
             if found is not None and found[0] == record.term:
                 db.execute("DELETE FROM entry WHERE grp = ? AND idx <= ?", at)
                 group.base_sum = found[1]
-            elif db.execute("SELECT term FROM shot WHERE grp = ? AND idx = ?", at).fetchone() != (record.term,):
+            elif db.execute("SELECT term FROM shot WHERE grp = ? AND idx = ?", at).fetchone() != (
+                record.term,
+            ):
                 db.execute("DELETE FROM entry WHERE grp = ?", (name,))
                 group.last, group.last_sum = record.index, _sum(record.index, record.term)
                 group.base_sum = group.last_sum
             group.base = record.index
             config = msgspec.msgpack.encode(record.config)
             group.shot_sum = _shot_sum(record.index, record.term, config, record.body)
-            db.execute("REPLACE INTO shot VALUES (?, ?, ?, ?, ?)",
-                       (name, record.index, record.term, config, record.body))
+            db.execute(
+                "REPLACE INTO shot VALUES (?, ?, ?, ?, ?)",
+                (name, record.index, record.term, config, record.body),
+            )
         elif record.entries:
             self._append(name, group, record.entries)
 
@@ -171,8 +179,13 @@
         if first == group.last + 1:
             chain = group.last_sum
         else:
-            chain = group.base_sum if first == group.base + 1 else self._db.execute(
-                "SELECT sum FROM entry WHERE grp = ? AND idx = ?", (name, first - 1)).fetchone()[0]
+            chain = (
+                group.base_sum
+                if first == group.base + 1
+                else self._db.execute(
+                    "SELECT sum FROM entry WHERE grp = ? AND idx = ?", (name, first - 1)
+                ).fetchone()[0]
+            )
             self._db.execute("DELETE FROM entry WHERE grp = ? AND idx >= ?", (name, first))
         rows = []
         for at, entry in enumerate(entries, first):
@@ -232,7 +245,9 @@
         for name, group in self._groups.items():
             kept = logs.get(name, [])
             if (group.base + len(kept), chains.get(name, group.base_sum)) != (group.last, group.last_sum):
-                raise Damage(f"group {name!r}: its log ends at {group.base + len(kept)}, written to {group.last}")
+                raise Damage(
+                    f"group {name!r}: its log ends at {group.base + len(kept)}, written to {group.last}"
+                )
             if (group.base > 0) > (name in shots):
                 raise Damage(f"group {name!r}: its snapshot is missing")
             self.saved[name] = Saved(group.term, group.vote, shots.get(name), tuple(kept))
@@ -249,7 +264,7 @@
                 good = struct.unpack("=I", shared.read(20)[16:])[0]  # frames that SQLite holds for whole
         except (FileNotFoundError, struct.error):
             return
-        if len(wal) < _WAL_HEAD.size or not any(wal[:_WAL_HEAD.size]):
+        if len(wal) < _WAL_HEAD.size or not any(wal[: _WAL_HEAD.size]):
             return
         magic, _, page, _, *salts, sum_0, sum_1 = _WAL_HEAD.unpack_from(wal)
         one = two = 0
@@ -265,7 +280,9 @@
             commits += pages > 0 and salt == salts
             at += page + _FRAME_HEAD.size
         if commits > 1:
-            raise Damage(f"{commits} transactions lie behind a part of the write-ahead log that does not read")
+            raise Damage(
+                f"{commits} transactions lie behind a part of the write-ahead log that does not read"
+            )
 
 
 def _shot_sum(index: int, term: int, config: bytes, body: bytes) -> int:
@@ -326,7 +343,7 @@
 def _put_aside(folder: Path) -> Path:
     """Keep what is damaged, under a name of its own."""
     kept = sorted(folder.glob("damaged-*"))
-    for old in kept[:max(len(kept) - MOST_KEPT + 1, 0)]:
+    for old in kept[: max(len(kept) - MOST_KEPT + 1, 0)]:
         for one in old.iterdir():
             one.unlink()
         old.rmdir()
@@ -340,9 +357,15 @@
     return aside
 
 
-def open_store(folder: Path, fleet: str, member: str, fsync: bool = True,
-               fresh: Callable[[], str] = lambda: secrets.token_hex(4)) -> Disk | FleetError:
-    """The member's store, made where there is none, and made anew beside a damaged one (`Disk.faults` says so).
+def open_store(
+    folder: Path,
+    fleet: str,
+    member: str,
+    fsync: bool = True,
+    fresh: Callable[[], str] = lambda: secrets.token_hex(4),
+) -> Disk | FleetError:
+    """The member's store, made where there is none, and made anew beside a damaged one (`Disk.faults` says
+    so).
 
     StoreFailed: the folder cannot be used, or another process holds it.  AnotherFleet: it is another's.
     """
@@ -367,11 +390,20 @@
         return StoreFailed(member, f"{folder}: {fault}")
     if isinstance(made, FleetError):
         os.close(lock)
-    return made if made is not None else StoreFailed(member, f"{folder}: a new store does not read as written")
-
-
-def _open(folder: Path, fleet: str, member: str, fsync: bool, fresh: Callable[[], str], lock: int,
-          faults: list[FleetError]) -> Disk | FleetError | None:
+    return (
+        made if made is not None else StoreFailed(member, f"{folder}: a new store does not read as written")
+    )
+
+
+def _open(
+    folder: Path,
+    fleet: str,
+    member: str,
+    fsync: bool,
+    fresh: Callable[[], str],
+    lock: int,
+    faults: list[FleetError],
+) -> Disk | FleetError | None:
     """None: it was damaged and lies aside now."""
     path = folder / NAME
     if others := sorted(one.name for one in folder.glob("store-*.db") if one.name != NAME):
@@ -379,7 +411,9 @@
     if not path.exists():
         with contextlib.suppress(FileNotFoundError, Damage), (folder / TOLD).open("rb") as left:
             if (told := _read_told(left.fileno())) > 0:
-                faults.append(StoreDamaged(member, f"{path} is gone, {told} transactions were acknowledged in it"))
+                faults.append(
+                    StoreDamaged(member, f"{path} is gone, {told} transactions were acknowledged in it")
+                )
         _create(folder, fleet, member, fresh())
     held = os.open(folder / TOLD, os.O_RDWR | os.O_CREAT, 0o600)
     db: sqlite3.Connection | None = None
@@ -416,13 +450,18 @@
 class StoreWriter:
     """Writes off the event loop: what is asked for while a transaction is under way goes into the next one.
 
-    `stored` is told on the loop, in the order asked; `broke` once, when nothing more is written.  The thread is a
-    daemon: a disk that hangs does not hold up the process's end.  The folder is held until `end`, also by a store that
-    broke.
+    `stored` is told on the loop, in the order asked; `broke` once, when nothing more is written.  The thread
+    is a daemon: a disk that hangs does not hold up the process's end.  The folder is held until `end`, also
+    by a store that broke.
     """
 
-    def __init__(self, disk: Disk, call_soon_threadsafe: Callable[..., object],
-                 stored: Callable[[list[Stored]], None], broke: Callable[[FleetError], None]) -> None:
+    def __init__(
+        self,
+        disk: Disk,
+        call_soon_threadsafe: Callable[..., object],
+        stored: Callable[[list[Stored]], None],
+        broke: Callable[[FleetError], None],
+    ) -> None:
         self._disk, self._post, self._stored, self._broke = disk, call_soon_threadsafe, stored, broke
         self._waiting: deque[Store] = deque()
         self._bytes = 0
@@ -440,7 +479,9 @@
         self._waiting.extend(stores)
         self._bytes += sum(map(_weight, stores))
         if self._bytes > MOST_WAITING:
-            self._fail(StoreFailed(self._disk.member, f"{self._bytes} bytes wait for a disk that does not keep up"))
+            self._fail(
+                StoreFailed(self._disk.member, f"{self._bytes} bytes wait for a disk that does not keep up")
+            )
         else:
             self._next()
 
--- a/badgeryoke/gateway.py
+++ b/badgeryoke/gateway.py
@@ -56,8 +56,20 @@
 KILL_COUNTS_S, KILL_MARGIN_S = 3.0, 0.55
 LAST_WORDS_S = 0.05  # for the last answers to go out
 # What a reload does not change.
-OF_THE_PROCESS = ("name", "listen", "seed", "sockets", "memory_mb", "known", "drain_s", "mgmt", "socket_fd",
-                  "folder", "diameter", "operators")
+OF_THE_PROCESS = (
+    "name",
+    "listen",
+    "seed",
+    "sockets",
+    "memory_mb",
+    "known",
+    "drain_s",
+    "mgmt",
+    "socket_fd",
+    "folder",
+    "diameter",
+    "operators",
+)
 # While the process that is replaced lives, the new one keeps to this part of the bound on client connections.
 OVERLAP_PART = 0.5
 GIVE_BACK_S = 0.5  # for connections that are not in use any more, before the fleet's part ends
@@ -77,31 +89,65 @@
 class App:
     """One gateway."""
 
-    def __init__(self, config: Config, clock: Callable[[], float] | None = None,
-                 reread: Callable[[], Config] | None = None) -> None:
+    def __init__(
+        self,
+        config: Config,
+        clock: Callable[[], float] | None = None,
+        reread: Callable[[], Config] | None = None,
+    ) -> None:
         self._config, self._reread = config, reread
         self._loop = loop = Turns(asyncio.get_running_loop())
         self._clock = clock or WallClock(time.monotonic, time.time)
         self._links: dict[int, tuple[Host, RespServerLink | DiameterServerLink]] = {}
-        self._counter = (CounterLink(config.counter, config.settings.counter_timeout_ms, loop, self._clock)
-                         if config.counter is not None else None)
+        self._counter = (
+            CounterLink(config.counter, config.settings.counter_timeout_ms, loop, self._clock)
+            if config.counter is not None
+            else None
+        )
         room = int(max(config.memory_mb - PROGRAM_MB, LEAST_MB) * 1024 * 1024)
-        self.core = Core(config.settings, config.seed, loop, self._clock, self._link,
-                         self._counter or NoCounter(loop), int(room * BODIES_PART),
-                         config.operators.counter_watch.enabled, config.operators.fleet is not None)
+        self.core = Core(
+            config.settings,
+            config.seed,
+            loop,
+            self._clock,
+            self._link,
+            self._counter or NoCounter(loop),
+            int(room * BODIES_PART),
+            config.operators.counter_watch.enabled,
+            config.operators.fleet is not None,
+        )
         self._room = Room(int(room * LONG_PART))
-        self._hosts = HostGroup(config.discovery, config.known, loop, self._changed, config.settings.gateways,
-                                random.Random(config.seed).random)
-        self._front = RespFront(self.core, loop, int(config.sockets * CLIENT_PART), self._hosts,
-                                int(room * HALVES_PART), int(config.sockets * CROWD_PART))
+        self._hosts = HostGroup(
+            config.discovery,
+            config.known,
+            loop,
+            self._changed,
+            config.settings.gateways,
+            random.Random(config.seed).random,
+        )
+        self._front = RespFront(
+            self.core,
+            loop,
+            int(config.sockets * CLIENT_PART),
+            self._hosts,
+            int(room * HALVES_PART),
+            int(config.sockets * CROWD_PART),
+        )
         self._diameter: DiameterFront | None = None
         if (second := config.diameter) is not None:
             address = second.listen[0] if second.listen is not None else "127.0.0.1"
             self._me = Identity(second.origin_host, second.origin_realm, address, int(time.time()))
             self._services = {plan: number for number, plan in second.plans.items()}
             if second.listen is not None:
-                self._diameter = DiameterFront(second, config.settings, self._me, self.core, loop,
-                                               self._clock, int(config.sockets * DIAMETER_PART))
+                self._diameter = DiameterFront(
+                    second,
+                    config.settings,
+                    self._me,
+                    self.core,
+                    loop,
+                    self._clock,
+                    int(config.sockets * DIAMETER_PART),
+                )
         self._drain = Drain()
         self._term_at = math.inf  # of the first SIGTERM
         self._management: ManagementFront | None = None
@@ -109,7 +155,8 @@
         self.fleet: Service | None = None
         self._pools: Pools | None = None
         if (fleet := config.operators.fleet) is not None and all(
-                one.name != (fleet.me or config.name) for one in fleet.members):
+            one.name != (fleet.me or config.name) for one in fleet.members
+        ):
             raise ConfigError(f"{NAME}: fleet.me: {fleet.me or config.name!r} is no member")
         self._listening = False
         self.done = asyncio.Event()  # everything taken has its answer
@@ -123,8 +170,13 @@
             self.fleet = Service(self._config.operators.fleet, self._config.name)
             # A connection is used as long as the longest request on it, and then rests.
             longest_ms = max((cls.deadline_ms for cls in self._config.settings.classes), default=0.0)
-            self._pools = self.fleet.pools = Pools(self._config.operators.fleet, self._loop, self.fleet.now,
-                                                   self._config.idle_ms + longest_ms, self)
+            self._pools = self.fleet.pools = Pools(
+                self._config.operators.fleet,
+                self._loop,
+                self.fleet.now,
+                self._config.idle_ms + longest_ms,
+                self,
+            )
             self.fleet.on_floor = self.core.guarantee
             self.fleet.start()
         if self._counter is not None:
@@ -282,13 +334,29 @@
         made: RespServerLink | DiameterServerLink
         if second is not None and host.kind in second.server_kinds:
             made = DiameterServerLink(
-                host.address, self._loop, self._clock, me=self._me, services=self._services,
-                connect_ms=config.connect_ms, idle_ms=config.idle_ms, watchdog_s=second.watchdog_s, lease=lease)
+                host.address,
+                self._loop,
+                self._clock,
+                me=self._me,
+                services=self._services,
+                connect_ms=config.connect_ms,
+                idle_ms=config.idle_ms,
+                watchdog_s=second.watchdog_s,
+                lease=lease,
+            )
         else:
             made = RespServerLink(
-                host.address, self._loop, self._clock, report_names=config.report_names,
-                connect_ms=config.connect_ms, idle_ms=config.idle_ms, most=most,
-                most_units=config.settings.max_units, room=self._room, lease=lease)
+                host.address,
+                self._loop,
+                self._clock,
+                report_names=config.report_names,
+                connect_ms=config.connect_ms,
+                idle_ms=config.idle_ms,
+                most=most,
+                most_units=config.settings.max_units,
+                room=self._room,
+                lease=lease,
+            )
         if lease is not None:
             lease.link = made
         return made
--- a/badgeryoke/guarantee.py
+++ b/badgeryoke/guarantee.py
@@ -1,7 +1,8 @@
 """Queries of customers with a contract: drawn under this gateway's lease before the module sees them.
 
-Loaded only where the fleet's part is on.  A query that finds no room in the bucket waits its turn there if its deadline
-leaves the time, and is an ordinary one if none comes; what was drawn and not served is counted short, with its cause.
+Loaded only where the fleet's part is on.  A query that finds no room in the bucket waits its turn there if
+its deadline leaves the time, and is an ordinary one if none comes; what was drawn and not served is counted
+short, with its cause.
 """
 
 from __future__ import annotations
@@ -18,7 +19,9 @@
 log = logging.getLogger("badgeryoke.guarantee")
 
 TURN_S = 0.004  # between two looks at who has its turn, while any waits
-PATIENT_MS = 2.0 * WAIT_MS  # of its time a query must have left to wait: the longest wait, and as much to be served in
+PATIENT_MS = (
+    2.0 * WAIT_MS
+)  # of its time a query must have left to wait: the longest wait, and as much to be served in
 
 
 class Floor(Protocol):
@@ -48,7 +51,9 @@
 class Guarantee:
     """Between the core and the stakes.  `ask`: the core's, for a query that has waited."""
 
-    def __init__(self, floor: Floor, now: Callable[[], float], loop: Turns, ask: Callable[[Any], None]) -> None:
+    def __init__(
+        self, floor: Floor, now: Callable[[], float], loop: Turns, ask: Callable[[Any], None]
+    ) -> None:
         self._floor, self._now, self._loop, self._ask = floor, now, loop, ask
         self._waiting = 0
         self.faults = 0
@@ -65,7 +70,8 @@
         return run.reserved is not None
 
     def waits(self, run: Drawn, left_ms: float) -> bool:
-        """Whether a query that found no room waits its turn; the core's `ask` is called when that has come."""
+        """Whether a query that found no room waits its turn; the core's `ask` is called when that has
+        come."""
         if left_ms < PATIENT_MS or not self._floor.stakes:
             return False
         try:
--- a/badgeryoke/handover/link.py
+++ b/badgeryoke/handover/link.py
@@ -1,7 +1,7 @@
 """Both ends of a handover.  The old process listens; the new one asks, takes in, and says that it serves.
 
-    new: TAKE 1            old: STATE version checksum length, and the body; or ERR and why not
-    new: SERVING           old: stops accepting; the connection stays until it ends
+new: TAKE 1            old: STATE version checksum length, and the body; or ERR and why not
+new: SERVING           old: stops accepting; the connection stays until it ends
 """
 
 from __future__ import annotations
--- a/badgeryoke/host_group.py
+++ b/badgeryoke/host_group.py
@@ -1,10 +1,10 @@
 """Discovery's list of servers, kept by a watch: an actor of its own.
 
-The clock it is kept by (protocol page, "Figures"): what a watch misses counts as told 6 s after it fell silent, or
-2 s after the wait of its call if that is later; all else after 6 s; what an agent has, at once; after SIGHUP, 4 s
-later.  Silence tells that this watch is broken: another is opened at once.  A status, a refused or lost connection
-and a malformed answer may tell that more ask than discovery has room for: the fleet's back-off.  What follows for
-each fault and size of fleet: docs/design/fleet.md, "The list's clock".
+The clock it is kept by (protocol page, "Figures"): what a watch misses counts as told 6 s after it fell
+silent, or 2 s after the wait of its call if that is later; all else after 6 s; what an agent has, at once;
+after SIGHUP, 4 s later.  Silence tells that this watch is broken: another is opened at once.  A status, a
+refused or lost connection and a malformed answer may tell that more ask than discovery has room for: the
+fleet's back-off.  What follows for each fault and size of fleet: docs/design/fleet.md, "The list's clock".
 """
 
 from __future__ import annotations
@@ -29,14 +29,16 @@
 T = TypeVar("T")
 
 PATH = "/api/targets"
-# How long a watch may wait: short, so that one that has died in silence is found out 2 s before the clock runs out.
+# How long a watch may wait: short, so that one that has died in silence is found out 2 s before the clock
+# runs out.
 WAIT_MS = 3000
 PROBE_MS = 100  # the same behind a fault: the first answer tells that somebody is there
 WHOLE_MS = 1000  # and this long at most for the whole list, which need not wait for anything
 SILENT_S = 1.0  # nothing for this long after that, or while dialling, is silence: the connection is given up
 WHOLE_S = 1.8  # and this long after it, on a new connection from the dialling on, the answer has to be whole
-# What the agent holds counts as told from a process' first moment, so the list known at the start is gone by only
-# behind a try that failed after this time: one that was silent to its end, or the last of several that were lost.
+# What the agent holds counts as told from a process' first moment, so the list known at the start is gone by
+# only behind a try that failed after this time: one that was silent to its end, or the last of several that
+# were lost.
 KNOWN_AFTER_S = 0.2
 # With no list at all a process turns clients away at once, where one that is not ready leaves them to other
 # gateways.  But it has to be ready within 10 s of its start, and the start itself may take half of that.
@@ -45,19 +47,23 @@
 BACK_OFF_S = (0.02, 0.15)  # before the next connection: at first, and at most where gateways are few
 # Discovery is one service for all gateways: what all of them ask again in a second must not grow with them.
 EACH_S = 0.05  # of the longest back-off, for each gateway of the fleet
-# And no longer.  A refused call is behind it: 1.5 times this, then one try that is given up at its latest moment
-# (PROBE_MS + WHOLE_S), then the next (AGAIN_S), come to 4.95 s of the clock's 6.
+# And no longer.  A refused call is behind it: 1.5 times this, then one try that is given up at its latest
+# moment (PROBE_MS + WHOLE_S), then the next (AGAIN_S), come to 4.95 s of the clock's 6.
 LONGEST_S = 2.0
-# After silence the next call is made nearly at once: what an agent has counts as told from that moment, an outage's
-# end included, so no gateway may be without an open call for the 0.25 s that a drain leaves.  Two short calls find out
-# whether only that watch was broken; from then on each is held as long as any, so 200 gateways make 50 calls a second
-# in an outage, where they make 70 on a quiet day.
+# After silence the next call is made nearly at once: what an agent has counts as told from that moment, an
+# outage's end included, so no gateway may be without an open call for the 0.25 s that a drain leaves.  Two
+# short calls find out whether only that watch was broken; from then on each is held as long as any, so 200
+# gateways make 50 calls a second in an outage, where they make 70 on a quiet day.
 AGAIN_S = 0.05  # the next try lies anywhere in this time
 SOON_S = 0.6  # at the most, where the first call behind silence is refused: 4.05 s of the clock's 6 are gone
 SHORT_TRIES = 2
 MAX_HEAD, MAX_BODY = 16 * 1024, 4 * 1024 * 1024
-MOST_NUMBER = 1e15  # of any figure: whole ones are exact up to there, and a JSON number has no bound of its own
-MAX_READ = 2 * MAX_BODY  # with the sizes of chunks and what follows the last: no read waits where more lies ready
+MOST_NUMBER = (
+    1e15  # of any figure: whole ones are exact up to there, and a JSON number has no bound of its own
+)
+MAX_READ = (
+    2 * MAX_BODY
+)  # with the sizes of chunks and what follows the last: no read waits where more lies ready
 STATES = {"active": State.UP, "leaving": State.DRAINING, "left": State.GONE}
 
 
@@ -85,7 +91,8 @@
 
 
 def split_address(text: str) -> tuple[str, int]:
-    """IP:PORT; raises ValueError.  A name would be looked up within a turn of the event loop, and there is no DNS."""
+    """IP:PORT; raises ValueError.  A name would be looked up within a turn of the event loop, and there is
+    no DNS."""
     host, _, port = text.rpartition(":")
     host = host.removeprefix("[").removesuffix("]")
     try:
@@ -99,7 +106,11 @@
 
 def _number(entry: dict[str, Any], name: str, default: float) -> float:
     value = entry.get(name, default)
-    if isinstance(value, bool) or not isinstance(value, int | float) or not -MOST_NUMBER <= value <= MOST_NUMBER:
+    if (
+        isinstance(value, bool)
+        or not isinstance(value, int | float)
+        or not -MOST_NUMBER <= value <= MOST_NUMBER
+    ):
         raise ValueError(f"{name}: expected a number")
     return float(value)
 
@@ -120,9 +131,18 @@
             address = ("", 0) if gone else split_address(str(entry.get("addr")))
         except ValueError as fault:
             raise ValueError(f"servers: addr: {fault}") from None
-        hosts.append(Host(entry["id"], address, str(entry.get("zone", "")), str(entry.get("kind", "")),
-                          int(_number(entry, "cell", 0)), STATES[state], _number(entry, "weight", 1.0),
-                          _number(entry, "started_ms", 0)))
+        hosts.append(
+            Host(
+                entry["id"],
+                address,
+                str(entry.get("zone", "")),
+                str(entry.get("kind", "")),
+                int(_number(entry, "cell", 0)),
+                STATES[state],
+                _number(entry, "weight", 1.0),
+                _number(entry, "started_ms", 0),
+            )
+        )
     return Roster(int(_number(raw, "version", 0)), raw.get("full") is True, tuple(hosts))
 
 
@@ -164,7 +184,8 @@
             raise ValueError("body too large")
         # Of transfer codings only "chunked", the last one, tells where the body ends.
         self._bounded |= name.lower() == b"content-length" or (
-            name.lower() == b"transfer-encoding" and value.lower().rstrip().endswith(b"chunked"))
+            name.lower() == b"transfer-encoding" and value.lower().rstrip().endswith(b"chunked")
+        )
 
     def on_headers_complete(self) -> None:
         self.status = self._parser.get_status_code()
@@ -188,8 +209,8 @@
 async def _within(seconds: float, what: Awaitable[T]) -> T:
     """What has come in time, or raises TimeoutError.
 
-    A machine that was late for longer finds both at once, the time over and what has come: that is no silence.
-    asyncio.timeout would throw it away, and wait_for an end of the task that crosses a fault."""
+    A machine that was late for longer finds both at once, the time over and what has come: that is no
+    silence. asyncio.timeout would throw it away, and wait_for an end of the task that crosses a fault."""
     future = asyncio.ensure_future(what)
     await asyncio.wait((future,), timeout=seconds)
     if not future.done():
@@ -200,9 +221,15 @@
 class HostGroup(Actor):
     """Keeps the list, and tells of each change: the module's members, and who is at which address."""
 
-    def __init__(self, address: tuple[str, int], known: Roster | None, loop: Turns,
-                 changed: Callable[[Members, dict[int, Host]], None], gateways: int,
-                 draw: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        address: tuple[str, int],
+        known: Roster | None,
+        loop: Turns,
+        changed: Callable[[Members, dict[int, Host]], None],
+        gateways: int,
+        draw: Callable[[], float],
+    ) -> None:
         super().__init__(loop)
         self._address, self._known, self._changed = address, known, changed
         self._back_off, self._draw = BACK_OFF_S[0], draw
@@ -235,7 +262,9 @@
 
     def _listless(self) -> None:
         if not self.ready:
-            log.warning("no list of servers after %.0f s: clients are turned away until one comes", READY_AFTER_S)
+            log.warning(
+                "no list of servers after %.0f s: clients are turned away until one comes", READY_AFTER_S
+            )
             self.ready = True
 
     @property
@@ -280,8 +309,9 @@
                 self._last += 1
                 number = self._numbers[host.id] = self._last
             hosts[number] = host
-            servers.append(Server(number, host.zone, host.kind, host.cell, host.state, host.size,
-                                  host.started_ms))
+            servers.append(
+                Server(number, host.zone, host.kind, host.cell, host.state, host.size, host.started_ms)
+            )
         self._hosts = {n: host for n, host in hosts.items() if host.state is not State.GONE}
         if len(self._numbers) > 64 + 4 * len(self._hosts):  # forget the names of what is long gone
             self._numbers = {name: n for name, n in self._numbers.items() if n in self._hosts}
@@ -315,14 +345,16 @@
         """How long until the next try, s: twice as long each time, times a half to one and a half by chance,
         so that gateways which lost discovery at one moment do not come back to it at one.
 
-        After silence it does not go by the back-off, which may be long still from an earlier crowd: each try costs
-        SILENT_S already, and nothing may be missed between two."""
+        After silence it does not go by the back-off, which may be long still from an earlier crowd: each try
+        costs SILENT_S already, and nothing may be missed between two."""
         if silent:
             self._silences += 1
             return AGAIN_S * self._draw()
         pause, self._back_off = self._back_off, min(self._back_off * 2, self.longest)
         pause *= 0.5 + self._draw()
-        if self._silences:  # what was missed then counts already: one refusal behind it must not take the rest
+        if (
+            self._silences
+        ):  # what was missed then counts already: one refusal behind it must not take the rest
             self._silences, pause = 0, min(pause, SOON_S)
         return pause
 
@@ -369,16 +401,17 @@
     async def _ask(self, stream: IOStream, call: bytes, begun: float, wait_s: float) -> Response:
         """One call, which may wait so long for its answer.
 
-        A head that comes early, or a 1xx, says nothing of when the rest will come; after the wait each piece has
-        SILENT_S to come in, as long as the whole is in time."""
+        A head that comes early, or a 1xx, says nothing of when the rest will come; after the wait each piece
+        has SILENT_S to come in, as long as the whole is in time."""
         due, last = self._loop.time() + wait_s + SILENT_S, begun + wait_s + WHOLE_S
         response, whole = Response(), False
         await _within(SILENT_S, stream.write(call))
         while not whole:
             until = min(max(due, self._loop.time() + SILENT_S), last) if response.begun else min(due, last)
             try:
-                whole = response.feed(await _within(until - self._loop.time(),
-                                                    stream.read_bytes(READ_CHUNK, partial=True)))
+                whole = response.feed(
+                    await _within(until - self._loop.time(), stream.read_bytes(READ_CHUNK, partial=True))
+                )
             except StreamClosedError as end:
                 if end.real_error is not None or not response.ended():  # a reset is no end
                     raise
--- a/badgeryoke/logs.py
+++ b/badgeryoke/logs.py
@@ -20,8 +20,12 @@
     """One JSON object a line: at (Unix seconds), level, logger, event, and the event's fields."""
 
     def format(self, record: logging.LogRecord) -> str:
-        line: dict[str, object] = {"at": round(record.created, 3), "level": record.levelname.lower(),
-                                   "logger": record.name, "event": record.getMessage()}
+        line: dict[str, object] = {
+            "at": round(record.created, 3),
+            "level": record.levelname.lower(),
+            "logger": record.name,
+            "event": record.getMessage(),
+        }
         line.update(getattr(record, "fields", {}))
         if record.exc_info:
             line["traceback"] = self.formatException(record.exc_info)
@@ -35,4 +39,3 @@
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(level.upper())
-
--- a/badgeryoke/management/front.py
+++ b/badgeryoke/management/front.py
@@ -104,7 +104,7 @@
             if not (end and line.startswith(FLEET) and len(line) <= MOST_FLEET_LINE):
                 return b"-ERR line too long\n"
         if line.startswith(FLEET) or line.strip() == FLEET.strip():
-            return await self._gateway.fleet_call(line[len(FLEET):].strip())
+            return await self._gateway.fleet_call(line[len(FLEET) :].strip())
         return answer(self._gateway, line)
 
     def end(self) -> None:
--- a/badgeryoke/management/render.py
+++ b/badgeryoke/management/render.py
@@ -25,13 +25,17 @@
 
 def render(figures: Figures, gauges: Gauges) -> str:
     """All figures, one a line, each line ended."""
-    lines = [f'lb_downstream_requests{{lane="{name.translate(ESCAPES)}",result="{result}"}} {count}'
-             for name, counts in figures.ended.items()
-             for result, count in zip(RESULTS, counts, strict=True)]
-    lines += [f"lb_upstream_requests {figures.attempts}",
-              f"lb_pending {gauges.pending}",
-              f"lb_members {gauges.members}",
-              f"lb_members_unavailable {gauges.members_unavailable}",
-              f"lb_config_reloads {figures.reloads}",
-              f"lb_config_reload_errors {figures.reload_errors}"]
+    lines = [
+        f'lb_downstream_requests{{lane="{name.translate(ESCAPES)}",result="{result}"}} {count}'
+        for name, counts in figures.ended.items()
+        for result, count in zip(RESULTS, counts, strict=True)
+    ]
+    lines += [
+        f"lb_upstream_requests {figures.attempts}",
+        f"lb_pending {gauges.pending}",
+        f"lb_members {gauges.members}",
+        f"lb_members_unavailable {gauges.members_unavailable}",
+        f"lb_config_reloads {figures.reloads}",
+        f"lb_config_reload_errors {figures.reload_errors}",
+    ]
     return "".join(line + "\n" for line in lines)
--- a/badgeryoke/operators.py
+++ b/badgeryoke/operators.py
@@ -55,8 +55,11 @@
             close = difflib.get_close_matches(key, list(fields), 1)
             hint = f"did you mean {path}{close[0]}?" if close else f"known are {', '.join(sorted(fields))}"
             faults.append(f"{path}{key}: unknown; {hint}")
-        elif isinstance(value, dict) and isinstance(fields[key], type) and issubclass(
-                fields[key], msgspec.Struct):
+        elif (
+            isinstance(value, dict)
+            and isinstance(fields[key], type)
+            and issubclass(fields[key], msgspec.Struct)
+        ):
             faults += unknown(value, fields[key], f"{path}{key}.")
     return faults
 
@@ -106,4 +109,6 @@
         faults += found
     if faults:
         raise OperatorsError([f"{path.name}: {fault}" for fault in faults])
-    return msgspec.convert({**raw, "fleet": fleet if fleet is not None and fleet.enabled else None}, Operators)
+    return msgspec.convert(
+        {**raw, "fleet": fleet if fleet is not None and fleet.enabled else None}, Operators
+    )
--- a/badgeryoke/relay.py
+++ b/badgeryoke/relay.py
@@ -77,8 +77,8 @@
         while self._pieces and size < most:
             piece = self._pieces.popleft()
             if len(piece) > most - size:
-                self._pieces.appendleft(piece[most - size:])
-                piece = piece[:most - size]
+                self._pieces.appendleft(piece[most - size :])
+                piece = piece[: most - size]
             out.append(piece)
             size += len(piece)
         self.held -= size
--- a/badgeryoke/resp/client_link.py
+++ b/badgeryoke/resp/client_link.py
@@ -30,16 +30,18 @@
 MOST_FAULTS = 3  # commands refused as malformed on one connection, after which it is closed
 MOST_MS, MOST_UNITS, MOST_GATEWAYS = 1e7, 1e6, 1_000_000  # the core knows narrower bounds
 LINGER_S = 0.2  # for the client to fetch its last answer and close
-# A connection that is to end takes what still comes for so long.  What comes later is refused at once, and one that
-# never stops asking is cut off behind an answer: what lies behind that was not read.  A new one has so long to ask
-# its first.
+# A connection that is to end takes what still comes for so long.  What comes later is refused at once, and
+# one that never stops asking is cut off behind an answer: what lies behind that was not read.  A new one has
+# so long to ask its first.
 END_TAKES_S, END_FIRST_S = 1.0, 0.5
 MOST_WAITING = 64  # commands of one connection that wait for their answers; more are not read meanwhile
-# Bytes that are read, and taken, in one turn: hundreds of commands at once would keep all others waiting.  The
-# streams read by the same measure, so that nothing lies between the socket and the turn.
+# Bytes that are read, and taken, in one turn: hundreds of commands at once would keep all others waiting.
+# The streams read by the same measure, so that nothing lies between the socket and the turn.
 READ_AT_ONCE = 4096
 LOOK_S = 0.05  # while no more is read of a client, whether it has gone is looked at so often
-MOST_UNSENT = 128 * 1024  # bytes given to the stream that its client has not fetched; a single answer may be longer
+MOST_UNSENT = (
+    128 * 1024
+)  # bytes given to the stream that its client has not fetched; a single answer may be longer
 PIECE = 32 * 1024  # of a long value is written at once; the next when this one has gone out
 PONG, OK = b"+PONG\r\n", b"+OK\r\n"
 
@@ -56,12 +58,18 @@
     key, retry = given.get("k", ""), given.get("r", "0")
     try:
         query = Query(
-            id=rid.decode("ascii"), cls=given["c"], plan=given["t"], customer=customer_number(customer),
+            id=rid.decode("ascii"),
+            cls=given["c"],
+            plan=given["t"],
+            customer=customer_number(customer),
             remaining_ms=_field("d", number, given["d"], MOST_MS),
             units=_field("units", number, given["units"], MOST_UNITS),
             spread=_field("spread", whole_number, given["spread"], MOST_GATEWAYS),
             first=_field("first", whole_number, given["first"], MOST_GATEWAYS),
-            retry=retry == "1", key=key, safe=safe, streams=True,
+            retry=retry == "1",
+            key=key,
+            safe=safe,
+            streams=True,
         )
     except KeyError as missing:
         raise ValueError(f"no {missing.args[0]} in the list") from None
@@ -122,8 +130,14 @@
 class ClientLink(Actor):
     """One connection: commands in, answers out in the commands' order, one write a turn."""
 
-    def __init__(self, stream: IOStream, core: Core, loop: Turns, ready: Callable[[], bool],
-                 closed: Callable[[ClientLink], None]) -> None:
+    def __init__(
+        self,
+        stream: IOStream,
+        core: Core,
+        loop: Turns,
+        ready: Callable[[], bool],
+        closed: Callable[[ClientLink], None],
+    ) -> None:
         super().__init__(loop)
         self._stream, self._core, self._ready, self._closed = stream, core, ready, closed
         self._parser = Parser(max_items=5, max_depth=1, max_total=MAX_BULK + 2 * MOST_LISTED)
@@ -154,8 +168,8 @@
 
     @property
     def _in_hand(self) -> bool:
-        """Whether bytes may have left the socket that had no turn yet: a reading is done one round of the event
-        loop before whoever waits for it goes on."""
+        """Whether bytes may have left the socket that had no turn yet: a reading is done one round of the
+        event loop before whoever waits for it goes on."""
         return not self._stream.reading() and not self._taking
 
     @property
@@ -179,13 +193,14 @@
         return bool(self._slots) and self._slots[0].relay is not None
 
     def abort(self) -> None:
-        """Close at once: one that is idle, or whose client does not fetch its answers, so that nothing it asks
-        could reach it."""
+        """Close at once: one that is idle, or whose client does not fetch its answers, so that nothing it
+        asks could reach it."""
         self._stream.close()
 
     def drop(self) -> None:
-        """Close a connection that holds half a command which does not come to its end, or none.  One that owes
-        answers gives them first, and what lies unread may be the rest: it is taken, and the next call looks."""
+        """Close a connection that holds half a command which does not come to its end, or none.  One that
+        owes answers gives them first, and what lies unread may be the rest: it is taken, and the next call
+        looks."""
         if self._slots:
             self.end_late()
         elif not self._in_hand and not _unread(self._stream):
@@ -198,14 +213,16 @@
     async def serve(self) -> None:
         """Read until the connection ends, and no further while too many commands wait for their answers.
 
-        The end of the client's sending counts as its leaving: closed or only ended, the other machine sends the
-        same FIN, and the protocol has clients that close and none that end their sending and still read.
+        The end of the client's sending counts as its leaving: closed or only ended, the other machine sends
+        the same FIN, and the protocol has clients that close and none that end their sending and still read.
         """
         reading: asyncio.Future[bytes] | None = None
         try:
             while True:
                 reading = asyncio.ensure_future(self._stream.read_bytes(READ_AT_ONCE, partial=True))
-                if reading.done():  # it lay there: others have their turn, or who sends on and on has the event loop
+                if (
+                    reading.done()
+                ):  # it lay there: others have their turn, or who sends on and on has the event loop
                     await asyncio.sleep(0)
                 elif self._ending:
                     self.post(self._moved)  # nothing is in hand any more
@@ -226,7 +243,8 @@
             reading = None  # its exception holds this frame, and so all of the link until the next collection
 
     async def _pause(self) -> None:
-        """Go on when there is room.  That the client has left must not wait until what it sent before is read."""
+        """Go on when there is room.  That the client has left must not wait until what it sent before is
+        read."""
         while self._held_back and not self._stream.closed():
             if _hung_up(self._stream):
                 self._stream.close()
@@ -280,8 +298,9 @@
             self._refuse(slot, "unknown command")
 
     def _refuse(self, slot: _Slot, words: str) -> None:
-        """A command that cannot be taken; a client that sends many of them is not listened to any longer: bad
-        input costs its sender the connection, and whoever sent it is none of the clients that requests are of."""
+        """A command that cannot be taken; a client that sends many of them is not listened to any longer:
+        bad input costs its sender the connection, and whoever sent it is none of the clients that requests
+        are of."""
         slot.reply = error(f"ERR {words}")
         self._faults += 1
         if self._faults >= MOST_FAULTS:
@@ -364,8 +383,9 @@
         and the reset could overtake the last answer."""
         if self._stream.closed() or self._stream.writing():
             return  # once that is out, its turn comes here again
-        if not self._broken and (self._in_hand or (
-                not self._late and (not self._parser.idle or _unread(self._stream)))):
+        if not self._broken and (
+            self._in_hand or (not self._late and (not self._parser.idle or _unread(self._stream)))
+        ):
             return  # sent before our end: it is read and answered, and that turn comes here again
         if not self._finished:
             self._finished = True
@@ -412,4 +432,3 @@
             if slot.left is not None:
                 slot.left()
         self._closed(self)
-
--- a/badgeryoke/resp/front.py
+++ b/badgeryoke/resp/front.py
@@ -30,16 +30,17 @@
 STALLED_S = 10.0  # ... and each piece of a long value within this
 BACKLOG = 512  # connections that the system accepts for us and holds
 ACCEPT_AT_ONCE = 64  # of them are taken before others have their turn
-# Beyond the bound on connections so many of it more are taken only to be told so; others wait with the system, and
-# are looked at again after this time.
+# Beyond the bound on connections so many of it more are taken only to be told so; others wait with the
+# system, and are looked at again after this time.
 TURNED_PART, LEAST_TURNED, ACCEPT_AGAIN_S = 1 / 16, 4, 0.05
 
 
 class RespFront:
     """Accepts the platform's clients."""
 
-    def __init__(self, core: Core, loop: Turns, most: int, host_group: HostGroup, most_held: int,
-                 crowd: int) -> None:
+    def __init__(
+        self, core: Core, loop: Turns, most: int, host_group: HostGroup, most_held: int, crowd: int
+    ) -> None:
         self._crowd = crowd
         self._most_held = most_held
         self._core, self._loop, self._most, self._host_group = core, loop, most, host_group
--- a/badgeryoke/resp/parser.py
+++ b/badgeryoke/resp/parser.py
@@ -37,8 +37,15 @@
     nothing after it is read.
     """
 
-    def __init__(self, max_bulk: int = MAX_BULK, max_items: int = 16, max_depth: int = 2,
-                 max_line: int = 1024, max_total: int = 2 * MAX_BULK, max_long: int = 0) -> None:
+    def __init__(
+        self,
+        max_bulk: int = MAX_BULK,
+        max_items: int = 16,
+        max_depth: int = 2,
+        max_line: int = 1024,
+        max_total: int = 2 * MAX_BULK,
+        max_long: int = 0,
+    ) -> None:
         self._max_bulk, self._max_items = max_bulk, max_items
         self._max_depth, self._max_line, self._max_total = max_depth, max_line, max_total
         self._buffer = bytearray()
@@ -74,7 +81,7 @@
         if not self.fault:
             try:
                 if not self._buffer and not self._open and self._bulk is None:
-                    data = data[self._commands(data, whole):]
+                    data = data[self._commands(data, whole) :]
                     if not data:
                         return whole
                 self._read(data, whole)
@@ -92,21 +99,21 @@
         taken, size, find = 0, len(data), data.find
         while taken < size:
             end = find(b"\r\n", taken, taken + 6)
-            digits = data[taken + 1:end]
+            digits = data[taken + 1 : end]
             if end < 0 or data[taken] != 42 or not digits.isdigit() or not 0 < int(digits) <= self._max_items:
                 break
             words: list[Value] = []
             at, total = end + 2, 0
             for _ in range(int(digits)):
                 end = find(b"\r\n", at, at + 10)
-                length = data[at + 1:end]
+                length = data[at + 1 : end]
                 if end < 0 or data[at] != 36 or not length.isdigit():
                     return taken
                 at = end + 2 + int(length)
                 total += int(length)
-                if int(length) > self._max_bulk or total > self._max_total or data[at:at + 2] != b"\r\n":
+                if int(length) > self._max_bulk or total > self._max_total or data[at : at + 2] != b"\r\n":
                     return taken
-                words.append(data[end + 2:at])
+                words.append(data[end + 2 : at])
                 at += 2
             whole.append(words)
             taken = at
@@ -119,20 +126,20 @@
         while True:
             value: Value
             if self._left is not None:
-                if piece := bytes(buffer[at:at + self._left]):
+                if piece := bytes(buffer[at : at + self._left]):
                     self.pieces.append(piece)
                     self._left -= len(piece)
                     at += len(piece)
                 if self._left or len(buffer) - at < 2:
                     break
-                if buffer[at:at + 2] != b"\r\n":
+                if buffer[at : at + 2] != b"\r\n":
                     raise _ProtocolError("bulk string without its line end")
                 value, self._left, self.long_whole, at = Passed(), None, True, at + 2
             elif self._bulk is not None:
                 end = at + self._bulk
                 if len(buffer) < end + 2:
                     break
-                if buffer[end:end + 2] != b"\r\n":
+                if buffer[end : end + 2] != b"\r\n":
                     raise _ProtocolError("bulk string without its line end")
                 value = bytes(buffer[at:end])
                 self._bulk, at = None, end + 2
@@ -141,10 +148,10 @@
                 if end - at > self._max_line or (end < 0 and len(buffer) - at > self._max_line):
                     raise _ProtocolError("line too long")
                 if end < 0:
-                    self._begun(bytes(buffer[at:at + MAX_NUMBER + 2]))
+                    self._begun(bytes(buffer[at : at + MAX_NUMBER + 2]))
                     self._scanned = max(len(buffer) - 1, at)
                     break
-                kind, line, at = buffer[at:at + 1], bytes(buffer[at + 1:end]), end + 2
+                kind, line, at = buffer[at : at + 1], bytes(buffer[at + 1 : end]), end + 2
                 self._scanned = at
                 if kind == b"$":
                     first = len(self._open) == 1 and not self._open[0][1]
@@ -196,8 +203,11 @@
         kind, rest = line[:1], line[1:].rstrip(b"\r")
         if kind and kind not in b"+-:$*":
             raise _ProtocolError("unknown type byte")
-        if kind and kind in b":$*" and (len(rest) > MAX_NUMBER or rest.strip(b"0123456789") not in (
-                b"", b"-", b"+")):
+        if (
+            kind
+            and kind in b":$*"
+            and (len(rest) > MAX_NUMBER or rest.strip(b"0123456789") not in (b"", b"-", b"+"))
+        ):
             raise _ProtocolError("number expected")
 
     @staticmethod
--- a/badgeryoke/resp/server_link.py
+++ b/badgeryoke/resp/server_link.py
@@ -29,8 +29,8 @@
 log = logging.getLogger("badgeryoke.resp.server")
 
 IDLE_PART = 0.5  # of the settings' idle time a connection is kept: the backend may close it sooner
-# A connection is left alone for so long after an answer: its end may follow, or a second answer, which nothing on the
-# wire tells from the next attempt's.
+# A connection is left alone for so long after an answer: its end may follow, or a second answer, which
+# nothing on the wire tells from the next attempt's.
 REST_S = 0.01
 BEGUN_MS = 50.0  # without a byte more of an answer that has begun: a length that does not fit, or no end
 STALLED_MS = 3000.0  # the same of a long value, whose length fits until it is shown that it does not
@@ -47,8 +47,12 @@
     if query.retry:
         fields.append("r=1")
     fields.append(f"units={query.units:.7g},spread={query.spread},first={query.first}")
-    words = [b"SVC.QUERY" if safe else b"SVC.SUBMIT", b"%016x" % query.customer, query.id.encode(),
-             ",".join(fields).encode()]
+    words = [
+        b"SVC.QUERY" if safe else b"SVC.SUBMIT",
+        b"%016x" % query.customer,
+        query.id.encode(),
+        ",".join(fields).encode(),
+    ]
     if query.body is not None:
         words.append(query.body)
     return command(words)
@@ -145,12 +149,24 @@
 class RespServerLink(Actor):
     """One backend."""
 
-    def __init__(self, address: tuple[str, int], loop: Turns, clock: Callable[[], float], *,
-                 report_names: tuple[str, ...], connect_ms: float, idle_ms: float,
-                 most: int, most_units: float = MOST_FIGURE, room: Room | None = None,
-                 lease: Lease | None = None) -> None:
+    def __init__(
+        self,
+        address: tuple[str, int],
+        loop: Turns,
+        clock: Callable[[], float],
+        *,
+        report_names: tuple[str, ...],
+        connect_ms: float,
+        idle_ms: float,
+        most: int,
+        most_units: float = MOST_FIGURE,
+        room: Room | None = None,
+        lease: Lease | None = None,
+    ) -> None:
         super().__init__(loop)
-        self.lease = lease  # where the fleet keeps the server's limit: connections are opened and used under it alone
+        self.lease = (
+            lease  # where the fleet keeps the server's limit: connections are opened and used under it alone
+        )
         self._room = room or Room(WINDOW)
         self.address = address
         self._most_units = most_units
@@ -168,8 +184,9 @@
         """The clock, ms."""
         return self._clock()
 
-    def retune(self, report_names: tuple[str, ...], connect_ms: float, idle_ms: float,
-               most_units: float) -> None:
+    def retune(
+        self, report_names: tuple[str, ...], connect_ms: float, idle_ms: float, most_units: float
+    ) -> None:
         """Go by new settings from the next attempt on."""
         self._names, self._most_units = report_names, most_units
         self._connect_ms, self._idle_ms = connect_ms, idle_ms * IDLE_PART
@@ -199,14 +216,15 @@
                     return
                 self._waiting.popleft()
                 self._write(connection, execution, now)
-            else:  # its client has left, or its time is up: nothing is opened for it, and no connection is used
+            # its client has left, or its time is up: nothing is opened for it, and no connection is used
+            else:
                 self._waiting.popleft()
                 execution.on_abandon = None
                 execution.moot("too late to be sent")
 
     def _rested(self) -> _Connection | None:
-        """An idle connection that is sound and has rested: the last used of them, unless its server may be closing
-        even that."""
+        """An idle connection that is sound and has rested: the last used of them, unless its server may be
+        closing even that."""
         if self.lease is not None and not self.lease.held():
             return None
         before, since = self._loop.time() - REST_S, self._clock() - self._idle_ms
@@ -251,11 +269,14 @@
         self._serve()
 
     def _open(self) -> None:
-        """As many connections as there are attempts waiting beyond those that will soon have rested, within the
-        bounds: a new one costs more time than the rest of an old one."""
+        """As many connections as there are attempts waiting beyond those that will soon have rested,
+        within the bounds: a new one costs more time than the rest of an old one."""
         lease = self.lease
-        while (self._opening < min(len(self._waiting) - len(self._idle), MOST_OPENING) and len(self._all) < self._most
-               and (lease is None or lease.may_open())):
+        while (
+            self._opening < min(len(self._waiting) - len(self._idle), MOST_OPENING)
+            and len(self._all) < self._most
+            and (lease is None or lease.may_open())
+        ):
             try:
                 connection = _Connection(self, self.address)
             except OSError as fault:
@@ -281,7 +302,8 @@
         if connection not in self._all or connection.up:
             return
         if not self._sound(connection):
-            connection.stream.close()  # as one that was refused: dialled again at once, it would go round and round
+            # as one that was refused: dialled again at once, it would go round and round
+            connection.stream.close()
             return
         connection.up = True
         self._opening -= 1
@@ -311,8 +333,9 @@
         if not future.done():
             future.add_done_callback(lambda done: None if done.exception() else execution.written())
             if execution.write_by_ms < execution.deadline_ms:
-                self._loop.call_later((execution.write_by_ms - now) / 1000.0, self.deliver, self._stuck,
-                                      connection, execution)
+                self._loop.call_later(
+                    (execution.write_by_ms - now) / 1000.0, self.deliver, self._stuck, connection, execution
+                )
         elif future.exception() is None:  # else its connection had ended, and nothing is out whole
             execution.written()
 
@@ -328,8 +351,8 @@
             return
         execution, parser = connection.execution, connection.parser
         if execution is None or connection.stream.writing():
-            # What is not out whole has no answer.  Used on, the connection would take the rest of it to a backend
-            # that has turned it away, and another attempt may be out then.
+            # What is not out whole has no answer.  Used on, the connection would take the rest of it to a
+            # backend that has turned it away, and another attempt may be out then.
             self._complain("answered what nobody asked")
             connection.stream.close()
             return
@@ -382,7 +405,9 @@
                 wait_s = (patience if connection.paused else left) / 1000.0
                 self._loop.call_later(wait_s, self.deliver, self._unended, connection, execution)
             else:
-                self._loop.call_soon(self.deliver, self._never_ended, connection, execution, connection.heard_at)
+                self._loop.call_soon(
+                    self.deliver, self._never_ended, connection, execution, connection.heard_at
+                )
 
     def _never_ended(self, connection: _Connection, execution: Execution, heard_at: float) -> None:
         """A late event loop comes to the timer first, and only then to what was there in time."""
--- a/fleet/connections.py
+++ b/fleet/connections.py
@@ -1,8 +1,10 @@
-"""Leases on connections: each server's limit divided over the gateways, so that all of them together never pass it.
+"""Leases on connections: each server's limit divided over the gateways, so that all of them together never
+pass it.
 
-The order is always: close, return, grant, open.  A gateway dials only under its lease (`Keeper.may_open`); before it
-gives a part back its connections are closed, and a connection counts until the *server* has let go of it (its end was
-read, or it was reset, or it was left alone for the server's idle time).  A part is free for others
+The order is always: close, return, grant, open.  A gateway dials only under its lease (`Keeper.may_open`);
+before it gives a part back its connections are closed, and a connection counts until the *server* has let go
+of it (its end was read, or it was reset, or it was left alone for the server's idle time).  A part is free
+for others
 
 - when its holder has given it back;
 - when the lease is over by the leader's clock and the server's idle time has gone by as well ("idle"): a holder that
@@ -13,11 +15,12 @@
 
 A lower limit takes nothing away at once: parts shrink as holders give back, and nothing is granted meanwhile.
 
-A lease on connections lives `LEASES` times as long as one on a rate, and one call renews all of a holder's servers of a
-bucket: 200 gateways on 120 servers make 960 calls a second if each uses all sixteen buckets (24,000 leases), and 300 as
-gateways keep to five servers each.
+A lease on connections lives `LEASES` times as long as one on a rate, and one call renews all of a holder's
+servers of a bucket: 200 gateways on 120 servers make 960 calls a second if each uses all sixteen buckets
+(24,000 leases), and 300 as gateways keep to five servers each.
 
-Source of the lease under clock drift: Gray and Cheriton, "Leases", SOSP 1989, section 2; shares are max-min fair.
+Source of the lease under clock drift: Gray and Cheriton, "Leases", SOSP 1989, section 2; shares are max-min
+fair.
 """
 
 from __future__ import annotations
@@ -41,14 +44,19 @@
 RENEWALS = 3.0  # in the life of a lease
 CLOSING_MS = 300.0  # before a lease's end nothing is opened and all is being closed
 SHORT_MS = 200.0  # between two askings for more; doubled while nothing comes, up to a renewal's time
-UNKNOWN_MS = 1000.0  # pause between two askings from which on a server's limit counts as forgotten, not as to come
+UNKNOWN_MS = (
+    1000.0  # pause between two askings from which on a server's limit counts as forgotten, not as to come
+)
 RESET_MS = 1000.0  # after a start, until what a process before it had open counts as closed by the kernel
 MOST_SERVERS = 4096  # of one group; more limits are refused
 MOST_ASKS = 256  # servers in one call; the rest goes with the next
 MOST_LIMIT = 1_000_000
 MOST_IDLE_MS = 3_600_000.0
 MOST_ENDS = 64  # calls that one heartbeat's work makes; the rest waits for the next
-OVER, UNKNOWN = -1, -2  # in place of a lease's number: the lease named is over; no limit of that server is known
+OVER, UNKNOWN = (
+    -1,
+    -2,
+)  # in place of a lease's number: the lease named is over; no limit of that server is known
 
 
 def bucket(server: str) -> str:
@@ -57,19 +65,21 @@
 
 
 def process(who: Id, boot: str, begun: str) -> Id:
-    """A holder: one process of a member.  `boot`: of its machine (kernel's boot id), empty where it is not known."""
+    """A holder: one process of a member.  `boot`: of its machine (kernel's boot id), empty where it is not
+    known."""
     return f"{who}#{boot}.{begun}"
 
 
 def machine(holder: Id) -> tuple[str, str] | None:
-    """The member's name and its machine's boot, which two processes must share for one to vouch for the other's end."""
+    """The member's name and its machine's boot, which two processes must share for one to vouch for the
+    other's end."""
     boot = holder.partition("#")[2].partition(".")[0]
     return (name_of(holder), boot) if boot else None
 
 
 class Limit(Command, frozen=True):
-    """A server's limit, from the operators' file or from discovery.  `idle_ms`: so long after a connection's last use
-    the server has closed it for sure, the longest request included."""
+    """A server's limit, from the operators' file or from discovery.  `idle_ms`: so long after a
+    connection's last use the server has closed it for sure, the longest request included."""
 
     server: str
     most: int
@@ -109,8 +119,9 @@
 class ConnLeases(Command, frozen=True):
     """Renew, shrink, grow or give back, for many servers of a bucket at once.
 
-    Gives {"parts": [[server, number, part, aim, spare], ...], "old": [[holder, server, number], ...]}: above its
-    `aim` a holder should give back; `old`, where the call is `fresh`, are leases of processes of the same machine.
+    Gives {"parts": [[server, number, part, aim, spare], ...], "old": [[holder, server, number], ...]}: above
+    its `aim` a holder should give back; `old`, where the call is `fresh`, are leases of processes of the same
+    machine.
     """
 
     holder: Id
@@ -150,7 +161,8 @@
         if self.proof not in ("idle", "reset"):
             return f"proof: expected idle or reset, got {self.proof!r}"
         if self.proof == "reset" and (
-                self.by == self.holder or not machine(self.by) or machine(self.by) != machine(self.holder)):
+            self.by == self.holder or not machine(self.by) or machine(self.by) != machine(self.holder)
+        ):
             return f"by: {self.by!r} cannot vouch for the end of {self.holder!r}"
         return ""
 
@@ -160,7 +172,8 @@
 
 @dataclass(slots=True)
 class _Server:
-    """One server's limit; `parts.aim` is the limit, `parts.whole` above it while more is held than a lowered one."""
+    """One server's limit; `parts.aim` is the limit, `parts.whole` above it while more is held than a
+    lowered one."""
 
     idle_ms: float
     parts: Divided
@@ -215,9 +228,17 @@
     def _leases(self, command: ConnLeases) -> Applied:
         parts = [self._ask(command.holder, ask) for ask in command.asks]
         mine = machine(command.holder) if command.fresh else None
-        old = [] if mine is None else [
-            [who, server, held.number] for server, one in self.servers.items() if bucket(server) == command.bucket
-            for who, held in one.parts.held.items() if who != command.holder and machine(who) == mine]
+        old = (
+            []
+            if mine is None
+            else [
+                [who, server, held.number]
+                for server, one in self.servers.items()
+                if bucket(server) == command.bucket
+                for who, held in one.parts.held.items()
+                if who != command.holder and machine(who) == mine
+            ]
+        )
         return Applied({"parts": parts, "old": old})
 
     def _ask(self, who: Id, ask: Ask) -> list[Any]:
@@ -234,10 +255,13 @@
         if held is None:
             self._tidy(ask.server)
             return [ask.server, 0, 0, 0, max(int(given.spare), 0)]
-        # An even share of 0.12 is one connection for those who come first, or nobody had any; but what is over the whole
-        # steps goes to nobody while another has less than those, or it would go round between those who have them.
+        # An even share of 0.12 is one connection for those who come first, or nobody had any; but what is
+        # over the whole steps goes to nobody while another has less than those, or it would go round between
+        # those who have them.
         even = int(given.fair + EDGE)
-        first = any(one.part + EDGE < min(one.wish, even) for other, one in parts.held.items() if other != who)
+        first = any(
+            one.part + EDGE < min(one.wish, even) for other, one in parts.held.items() if other != who
+        )
         aim = min(even if first else math.ceil(given.fair - EDGE), ask.wish)
         granted = parts.granted()
         if held.part < aim and limit - granted >= 1.0 - EDGE:
@@ -245,11 +269,17 @@
             granted += 1.0
         if limit - granted >= 1.0 - EDGE and not first:
             aim = max(aim, int(held.part))  # nobody is short: what lies idle may stay open
-        self._rules.check(Rule.LEASE_ONCE, held.number > self._last,
-                          lambda: f"{ask.server}: lease {held.number} was given before, the last was {self._last}")
+        self._rules.check(
+            Rule.LEASE_ONCE,
+            held.number > self._last,
+            lambda: f"{ask.server}: lease {held.number} was given before, the last was {self._last}",
+        )
         self._last = held.number
-        self._rules.check(Rule.CONNECTIONS_FIT, granted <= max(limit, before) + EDGE,
-                          lambda: f"{ask.server}: {granted:g} of {limit:g} granted, {before:g} before")
+        self._rules.check(
+            Rule.CONNECTIONS_FIT,
+            granted <= max(limit, before) + EDGE,
+            lambda: f"{ask.server}: {granted:g} of {limit:g} granted, {before:g} before",
+        )
         return [ask.server, held.number, int(held.part), aim, max(int(limit - granted), 0)]
 
     def _end(self, command: ConnEnd) -> Applied:
@@ -265,8 +295,9 @@
         return self._timings.lease_ms * LEASES
 
     def patience(self, idle_ms: float) -> float:
-        """From when a grant was seen here until its holder's connections are closed at the server, whatever became of
-        the holder: the lease and then the idle time, by the slowest clock there, counted by the fastest here."""
+        """From when a grant was seen here until its holder's connections are closed at the server,
+        whatever became of the holder: the lease and then the idle time, by the slowest clock there,
+        counted by the fastest here."""
         drift = self._timings.clock_drift
         return (self.lease_ms() + idle_ms) * (1.0 + drift) / (1.0 - drift) + CLOSING_MS
 
@@ -280,8 +311,15 @@
         made: list[Command] = []
         for (who, where), found in list(ends.items())[:MOST_ENDS]:
             mark = crc32(repr(found).encode())
-            made.append(ConnEnd(id=f"conn-end/{where}/{who}/{mark:08x}", holder=who, bucket=where, ends=tuple(found),
-                                proof="idle"))
+            made.append(
+                ConnEnd(
+                    id=f"conn-end/{where}/{who}/{mark:08x}",
+                    holder=who,
+                    bucket=where,
+                    ends=tuple(found),
+                    proof="idle",
+                )
+            )
         return made
 
     def seen(self, now: float) -> None:
@@ -291,17 +329,28 @@
 
     def told(self) -> dict[str, Any]:
         """For operators: limit, what is granted, to how many."""
-        return {server: {"limit": int(one.parts.aim), "granted": int(one.parts.granted()),
-                         "holders": len(one.parts.held)} for server, one in self.servers.items()}
+        return {
+            server: {
+                "limit": int(one.parts.aim),
+                "granted": int(one.parts.granted()),
+                "holders": len(one.parts.held),
+            }
+            for server, one in self.servers.items()
+        }
 
     def dump(self) -> Any:
         """See fleet.part."""
-        return [self._last, [[server, one.idle_ms, one.gone, one.parts.dump()] for server, one in self.servers.items()]]
+        return [
+            self._last,
+            [[server, one.idle_ms, one.gone, one.parts.dump()] for server, one in self.servers.items()],
+        ]
 
     def load(self, raw: Any) -> None:
         """See fleet.part."""
         self._last = raw[0]
-        self.servers = {server: _Server(idle_ms, Divided.load(parts), gone) for server, idle_ms, gone, parts in raw[1]}
+        self.servers = {
+            server: _Server(idle_ms, Divided.load(parts), gone) for server, idle_ms, gone, parts in raw[1]
+        }
 
 
 @dataclass(slots=True)
@@ -323,8 +372,8 @@
 
 @dataclass(slots=True)
 class _Out:
-    """A call of one bucket, until its outcome is known.  It is repeated with its id, and the lease counts from when it
-    was made first."""
+    """A call of one bucket, until its outcome is known.  It is repeated with its id, and the lease counts
+    from when it was made first."""
 
     command: Command
     asked: float
@@ -335,8 +384,9 @@
 
 @dataclass(slots=True)
 class Keeper:
-    """A gateway's side.  `alone`: no other process of this member runs (this one holds the folder's lock); only then it
-    vouches for the end of those before it.  `grow`: times the need, while others of a roll are away."""
+    """A gateway's side.  `alone`: no other process of this member runs (this one holds the folder's lock);
+    only then it vouches for the end of those before it.  `grow`: times the need, while others of a roll
+    are away."""
 
     me: Id  # of `process`
     timings: Timings
@@ -349,7 +399,9 @@
     _out: dict[str, _Out] = field(default_factory=dict)
     _old: dict[str, list[tuple[Id, str, int]]] = field(default_factory=dict)
     _asked_in: set[str] = field(default_factory=set)
-    unknown: dict[str, None] = field(default_factory=dict)  # wished for in vain, no limit is known; the shell's
+    unknown: dict[str, None] = field(
+        default_factory=dict
+    )  # wished for in vain, no limit is known; the shell's
     _count: int = 0
 
     def want(self, server: str, need: int) -> None:
@@ -359,7 +411,8 @@
         pool.now_peak = max(pool.now_peak, need)
 
     def held(self, now: float, server: str) -> bool:
-        """Whether the lease is in force; asked before each use of a connection, or a frozen process would write on."""
+        """Whether the lease is in force; asked before each use of a connection, or a frozen process would
+        write on."""
         pool = self.pools.get(server)
         return pool is not None and now < pool.ends
 
@@ -372,8 +425,11 @@
         """One is being dialled: it counts from before its first packet."""
         pool = self.pools.setdefault(server, _Pool())
         pool.open += 1
-        self.rules.check(Rule.OPEN_UNDER_LEASE, pool.open <= self._cap(now, pool),
-                         lambda: f"{server}: {pool.open} open, {self._cap(now, pool)} leased at {now:g}")
+        self.rules.check(
+            Rule.OPEN_UNDER_LEASE,
+            pool.open <= self._cap(now, pool),
+            lambda: f"{server}: {pool.open} open, {self._cap(now, pool)} leased at {now:g}",
+        )
 
     def closing(self, server: str) -> None:
         """One is being closed."""
@@ -386,10 +442,13 @@
         pool.closing = max(min(pool.closing - begun, pool.open), 0)
 
     def must_close(self, now: float) -> list[tuple[str, int]]:
-        """How many have to go at which servers, beside those that are going: a lease has shrunk, or nears its end.
-        Which go first is the shell's."""
-        return [(server, over) for server, pool in self.pools.items()
-                if (over := pool.open - pool.closing - self._cap(now, pool)) > 0]
+        """How many have to go at which servers, beside those that are going: a lease has shrunk, or nears
+        its end. Which go first is the shell's."""
+        return [
+            (server, over)
+            for server, pool in self.pools.items()
+            if (over := pool.open - pool.closing - self._cap(now, pool)) > 0
+        ]
 
     def _cap(self, now: float, pool: _Pool) -> int:
         if now >= pool.ends - CLOSING_MS:
@@ -405,7 +464,9 @@
         if self.leaving:
             return pool.need
         need = max(pool.need, pool.peak, pool.now_peak)
-        return min(math.ceil(need * self.grow - EDGE) + 1, MOST_LIMIT) if need else 0  # one more: it is dialled sooner
+        return (
+            min(math.ceil(need * self.grow - EDGE) + 1, MOST_LIMIT) if need else 0
+        )  # one more: it is dialled sooner
 
     def _due(self, now: float, pool: _Pool, wish: int) -> bool:
         """Whether something has to be asked for."""
@@ -415,7 +476,9 @@
             return True
         if wish > pool.part and now - pool.asked >= pool.pause:
             return True
-        if self.leaving and not wish and not pool.open:  # it may hold a lease on nothing: nobody is to wait for that
+        if (
+            self.leaving and not wish and not pool.open
+        ):  # it may hold a lease on nothing: nobody is to wait for that
             return now - pool.asked >= SHORT_MS / 2
         # Shrunk and closed down to it, or leaving: given back soon.
         return pool.open <= self._cap(now, pool) < pool.part and now - pool.asked >= SHORT_MS / 2
@@ -473,7 +536,7 @@
         error = result if isinstance(result, FleetError) else result.error
         if error is not None and not isinstance(error, BadCall | TakenId | WrongState):
             # Whether it was taken is not known, or not said: the same again, with its id, until it is.
-            out.under_way, out.again = False, now + min(SHORT_MS * 2 ** out.tries, self.timings.lease_ms)
+            out.under_way, out.again = False, now + min(SHORT_MS * 2**out.tries, self.timings.lease_ms)
             out.tries = min(out.tries + 1, 8)
             return
         del self._out[where]
@@ -495,13 +558,18 @@
             if number <= 0:
                 # Over, given back, or the server is not known: nothing may be open.
                 pool.number, pool.part, pool.cap, pool.ends = 0, 0, 0, -math.inf
-                if not wishes[server]:  # what was given back may be wished for again at once: a query does not wait long
+                if not wishes[
+                    server
+                ]:  # what was given back may be wished for again at once: a query does not wait long
                     pool.asked = -math.inf
                 elif number == UNKNOWN and pool.pause >= min(UNKNOWN_MS, longest):
                     self.unknown[server] = None
                 continue
             pool.number, pool.part, pool.cap = number, part, min(part, aim)
             pool.ends = out.asked + self.timings.lease_ms * LEASES
-        for server in [one for one, pool in self.pools.items()
-                       if not (pool.open or pool.number or pool.need or pool.peak or pool.now_peak)]:
+        for server in [
+            one
+            for one, pool in self.pools.items()
+            if not (pool.open or pool.number or pool.need or pool.peak or pool.now_peak)
+        ]:
             del self.pools[server]  # servers come and go: what is not used is not remembered
--- a/fleet/contracts.py
+++ b/fleet/contracts.py
@@ -1,21 +1,24 @@
-"""Contracts: a rate of units a second that the fleet keeps for a tenant (a set of customers) over windows of time.
+"""Contracts: a rate of units a second that the fleet keeps for a tenant (a set of customers) over windows of
+time.
 
-`Contracts` is a part of the fleet's own group: it admits by rates over windows, so that a refusal can say what would fit
-and when.  It is one log, so two proposals at two gateways never both take the last room.  What may be promised is the
-stated capacity less a part in reserve for losses, less a floor for everybody else; a promise counts from its window's
-begin until the last lease under it must be over (`Timings.outlast` behind its end).
+`Contracts` is a part of the fleet's own group: it admits by rates over windows, so that a refusal can say
+what would fit and when.  It is one log, so two proposals at two gateways never both take the last room.  What
+may be promised is the stated capacity less a part in reserve for losses, less a floor for everybody else; a
+promise counts from its window's begin until the last lease under it must be over (`Timings.outlast` behind
+its end).
 
-`Floors` is a part of a tenant's group: it divides each contract's rate and burst over the gateways (`fleet.leases`).
+`Floors` is a part of a tenant's group: it divides each contract's rate and burst over the gateways
+(`fleet.leases`).
 
-A change (a cancelling is one, to no windows) has a number and one moment from which it holds, two lives of a lease ahead
-at the least.  The fleet's group opens it at the tenant's group; that holds to it from its moment, and says `Told` when
-every lease of the version before is given back or over.  Until then the dearer of the two counts at every moment:
-close, return, grant, open.
+A change (a cancelling is one, to no windows) has a number and one moment from which it holds, two lives of a
+lease ahead at the least.  The fleet's group opens it at the tenant's group; that holds to it from its moment,
+and says `Told` when every lease of the version before is given back or over.  Until then the dearer of the
+two counts at every moment: close, return, grant, open.
 
 What the two groups do for each other is asked again until it is answered, by ids that make a repeat harmless.
 
-Source: the operators' wish "Reserved capacity contracts"; admission by rates over windows grew out of the reservations
-of `martenstep/plans`.  States are data, in TRANSITIONS.
+Source: the operators' wish "Reserved capacity contracts"; admission by rates over windows grew out of the
+reservations of `martenstep/plans`.  States are data, in TRANSITIONS.
 """
 
 from __future__ import annotations
@@ -62,7 +65,9 @@
 MOST_OPEN = 20_000  # slices told and not compared yet; above, the older half is compared early
 SETTLED_SLICES = 400  # after so many more a slice is compared with what was due: 2 s
 AHEAD_SLICES = 400  # of a clock that is ahead
-KEPT_SLICES = 120_000  # are remembered for what a gateway that was cut off tells late; later still, it is not counted
+KEPT_SLICES = (
+    120_000  # are remembered for what a gateway that was cut off tells late; later still, it is not counted
+)
 REST_MS = 500.0  # without a request: what was due until then and was not drawn never will be
 LONGEST_WAIT_MS = 300.0  # of a request at a gateway, for its turn
 NO_LEASE = "no lease"  # units that no gateway had a part for, where the tenant asked
@@ -126,7 +131,8 @@
 
 
 class Window(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """From a moment to a moment, Unix ms; with `every_ms` again and again, the last one begun before `until_ms`."""
+    """From a moment to a moment, Unix ms; with `every_ms` again and again, the last one begun before
+    `until_ms`."""
 
     from_ms: float
     to_ms: float
@@ -135,7 +141,8 @@
 
 
 class Terms(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """What is promised.  `surplus`: what the tenant asks for on top is served as anybody's, else it is refused."""
+    """What is promised.  `surplus`: what the tenant asks for on top is served as anybody's, else it is
+    refused."""
 
     tenant: str
     customers: tuple[int, ...]
@@ -195,16 +202,20 @@
 
 def spans(windows: Iterable[Window]) -> list[Span]:
     """All times at which windows hold, in order."""
-    return sorted((one.from_ms + turn * one.every_ms, one.to_ms + turn * one.every_ms)
-                  for one in windows for turn in range(_times(one)))
+    return sorted(
+        (one.from_ms + turn * one.every_ms, one.to_ms + turn * one.every_ms)
+        for one in windows
+        for turn in range(_times(one))
+    )
 
 
-# Commands of the fleet's group ---------------------------------------------------------------------------------------
+# Commands of the fleet's group
+# ---------------------------------------------------------------------------------------
 
 
 class Capacity(Command, frozen=True, kw_only=True):
-    """What the fleet can carry, units a second; `reserve`: the part kept for losses; `floor`: units a second for all
-    others; `halls`: capacity of each, where it is known."""
+    """What the fleet can carry, units a second; `reserve`: the part kept for losses; `floor`: units a
+    second for all others; `halls`: capacity of each, where it is known."""
 
     units: float
     reserve: float
@@ -243,7 +254,8 @@
 
 
 class CancelContract(Command, frozen=True, kw_only=True):
-    """Take a contract back, half used or not: it holds for two lives of a lease yet, then its room is free."""
+    """Take a contract back, half used or not: it holds for two lives of a lease yet, then its room is
+    free."""
 
     contract: str
 
@@ -259,8 +271,8 @@
 
 
 class Short(Command, frozen=True, kw_only=True):
-    """Units within the contract that were not served at one gateway, by cause: its total since it began to count, so
-    that a repeat adds nothing."""
+    """Units within the contract that were not served at one gateway, by cause: its total since it began to
+    count, so that a repeat adds nothing."""
 
     once: ClassVar[bool] = False
 
@@ -273,7 +285,11 @@
     def fault(self) -> str:
         if not 0 < len(self.by) <= 200 or not 0 < len(self.cause) <= 40:
             return "by: expected a name, and a cause"
-        return "" if 0.0 < self.units < math.inf and 0.0 <= self.since_ms < math.inf else "units: expected above 0"
+        return (
+            ""
+            if 0.0 < self.units < math.inf and 0.0 <= self.since_ms < math.inf
+            else "units: expected above 0"
+        )
 
 
 class Pass(Command, frozen=True, kw_only=True):
@@ -299,7 +315,8 @@
         return _counted("have", self.have + 1)
 
 
-# Commands of a tenant's group ----------------------------------------------------------------------------------------
+# Commands of a tenant's group
+# ----------------------------------------------------------------------------------------
 
 
 class _OfTenant(Command, frozen=True, kw_only=True):
@@ -325,7 +342,8 @@
 
 
 class Lease(_OfTenant, frozen=True, kw_only=True):
-    """Renew, shrink, grow or give back a part of a contract's rate and burst: see `fleet.leases.Divided.ask`."""
+    """Renew, shrink, grow or give back a part of a contract's rate and burst: see
+    `fleet.leases.Divided.ask`."""
 
     once: ClassVar[bool] = False  # its number states the order; the last answer is kept for a repeat
 
@@ -358,8 +376,8 @@
 
 
 class Used(_OfTenant, frozen=True, kw_only=True):
-    """What was asked for within a contract at one gateway and what of that was drawn, in slices of the group's time
-    (number, units, units).  A slice told again takes the place of the same one."""
+    """What was asked for within a contract at one gateway and what of that was drawn, in slices of the
+    group's time (number, units, units).  A slice told again takes the place of the same one."""
 
     once: ClassVar[bool] = False
 
@@ -367,9 +385,15 @@
     slices: tuple[tuple[int, float, float], ...]
 
     def fault(self) -> str:
-        good = all(0 <= at <= 1e12 and 0.0 <= asked <= HIGHEST and 0.0 <= drawn <= HIGHEST
-                   for at, asked, drawn in self.slices)
-        return "" if good and len(self.slices) <= MOST_TOLD and 0 < len(self.by) <= 200 else "slices: out of bounds"
+        good = all(
+            0 <= at <= 1e12 and 0.0 <= asked <= HIGHEST and 0.0 <= drawn <= HIGHEST
+            for at, asked, drawn in self.slices
+        )
+        return (
+            ""
+            if good and len(self.slices) <= MOST_TOLD and 0 < len(self.by) <= 200
+            else "slices: out of bounds"
+        )
 
 
 class EndLease(_OfTenant, frozen=True, kw_only=True):
@@ -384,8 +408,17 @@
         return _counted("number", self.number)
 
 
-FLEET_COMMANDS: tuple[type[Command], ...] = (Capacity, Propose, Change, CancelContract, Told, Short, Pass, ContractsRead,
-                                             ContractsKnown)
+FLEET_COMMANDS: tuple[type[Command], ...] = (
+    Capacity,
+    Propose,
+    Change,
+    CancelContract,
+    Told,
+    Short,
+    Pass,
+    ContractsRead,
+    ContractsKnown,
+)
 TENANT_COMMANDS: tuple[type[Command], ...] = (Open, Lease, Used, EndLease, TurnFloor)
 COMMANDS: tuple[type[Command], ...] = FLEET_COMMANDS + TENANT_COMMANDS
 
@@ -395,10 +428,13 @@
 
 
 def _named(contract: str) -> str:
-    return "" if NAME.fullmatch(contract) else "contract: expected 1 to 64 of letters, digits, '.', '_' and '-'"
+    return (
+        "" if NAME.fullmatch(contract) else "contract: expected 1 to 64 of letters, digits, '.', '_' and '-'"
+    )
 
 
-# Admission -----------------------------------------------------------------------------------------------------------
+# Admission
+# -----------------------------------------------------------------------------------------------------------
 
 Piece = tuple[float, float, float]  # from, to, units a second
 
@@ -415,7 +451,8 @@
 
 @dataclass(slots=True)
 class Contract:
-    """One contract.  `versions`: the one in force, and one that is coming or whose leases are not all moved to yet."""
+    """One contract.  `versions`: the one in force, and one that is coming or whose leases are not all
+    moved to yet."""
 
     name: str
     versions: list[Version]
@@ -447,20 +484,24 @@
         if len(found) == 1:
             return _merged([], found[0])
         later = self.newest.holds_from
-        return _merged(found[0], [(max(begin, later), end, rate) for begin, end, rate in found[1] if end > later])
+        return _merged(
+            found[0], [(max(begin, later), end, rate) for begin, end, rate in found[1] if end > later]
+        )
 
 
 def _merged(one: list[Piece], two: list[Piece]) -> list[Piece]:
     """The higher of two at every moment, without a piece that counts twice."""
     marks = sorted({at for begin, end, _ in one + two for at in (begin, end)})
     line = [max(_height(one, at), _height(two, at)) for at in marks]
-    return [(begin, end, rate) for (begin, end), rate in zip(pairwise(marks), line, strict=False) if rate > 0.0]
+    return [
+        (begin, end, rate) for (begin, end), rate in zip(pairwise(marks), line, strict=False) if rate > 0.0
+    ]
 
 
 def _height(pieces: list[Piece], at: float) -> float:
     """Of pieces in order of their begin, of which only neighbours overlap."""
     found = bisect_right(pieces, at, key=lambda one: one[0])
-    return max((one[2] for one in pieces[max(found - 2, 0):found] if one[1] > at), default=0.0)
+    return max((one[2] for one in pieces[max(found - 2, 0) : found] if one[1] > at), default=0.0)
 
 
 class Line:
@@ -497,8 +538,12 @@
         self.made = 0  # versions; a number is given once, whatever contract bears a name
         self.stated = 0  # times that a capacity was stated
         self.known = 0  # changes of what gateways have to know
-        self._asked: dict[str, tuple[float, float]] = {}  # of this leader alone: when to ask again, and the pause
-        self._booked: dict[str, float] = {}  # what was promised already when less capacity was stated; by hall
+        self._asked: dict[
+            str, tuple[float, float]
+        ] = {}  # of this leader alone: when to ask again, and the pause
+        self._booked: dict[
+            str, float
+        ] = {}  # what was promised already when less capacity was stated; by hall
 
     @property
     def tail(self) -> float:
@@ -536,14 +581,30 @@
     def look(self, command: Any) -> Applied:
         """See fleet.part."""
         if isinstance(command, ContractsKnown):
-            return Applied({"known": self.known} if command.have == self.known else {
-                "known": self.known, "contracts": [self._facts(one) for one in self.held.values()
-                                                   if one.state not in (S.SETTLED, S.REFUSED)]})
-        return Applied({"capacity": self.capacity, "reserve": self.reserve, "floor": self.floor,
-                        "contracts": {one.name: self._told_of(one) for one in self.held.values()}})
+            return Applied(
+                {"known": self.known}
+                if command.have == self.known
+                else {
+                    "known": self.known,
+                    "contracts": [
+                        self._facts(one)
+                        for one in self.held.values()
+                        if one.state not in (S.SETTLED, S.REFUSED)
+                    ],
+                }
+            )
+        return Applied(
+            {
+                "capacity": self.capacity,
+                "reserve": self.reserve,
+                "floor": self.floor,
+                "contracts": {one.name: self._told_of(one) for one in self.held.values()},
+            }
+        )
 
     def available(self, hall: str = "") -> float:
-        """What may be promised, units a second: in all, or in a hall (whose reserve and floor are its part)."""
+        """What may be promised, units a second: in all, or in a hall (whose reserve and floor are its
+        part)."""
         if not hall:
             return max(self.capacity * (1.0 - self.reserve) - self.floor, 0.0)
         part = self.halls.get(hall, self.capacity) / self.capacity if self.capacity else 0.0
@@ -557,7 +618,9 @@
         terms, known = command.terms, self.held.get(command.contract)
         if known is not None:
             same = known.versions[0].terms == terms
-            return Applied(self._told_of(known), None if same else WrongState(command.contract, "another has that name"))
+            return Applied(
+                self._told_of(known), None if same else WrongState(command.contract, "another has that name")
+            )
         times = spans(terms.windows)
         if times[0][0] < at_ms:
             late = at_ms - times[0][0]
@@ -578,8 +641,13 @@
     def _full(self, terms: Terms, times: int) -> AnyError | None:
         self._tidy()
         live = [one for one in self.held.values() if one.state is not S.SETTLED]
-        if len(live) >= MOST_CONTRACTS or sum(one.newest.terms.tenant == terms.tenant for one in live) >= MOST_OF_TENANT:
-            return Crowded(terms.tenant, f"{MOST_CONTRACTS} in all, or {MOST_OF_TENANT} of a tenant, are held already")
+        if (
+            len(live) >= MOST_CONTRACTS
+            or sum(one.newest.terms.tenant == terms.tenant for one in live) >= MOST_OF_TENANT
+        ):
+            return Crowded(
+                terms.tenant, f"{MOST_CONTRACTS} in all, or {MOST_OF_TENANT} of a tenant, are held already"
+            )
         if sum(len(v.times) for one in live for v in one.versions) + times > MOST_SPANS_IN_ALL:
             return Crowded(terms.tenant, f"windows: all contracts' come to more than {MOST_SPANS_IN_ALL}")
         return None
@@ -595,28 +663,45 @@
                 fits = min(fits, max(free - max(others.peak(begin, end) for begin, end, _ in ahead), 0.0))
         if fits is math.inf:
             return None
-        return NoRoom(name, f"rate: {terms.rate:g} units a second are asked for", fits=fits,
-                      fits_from_ms=self._earliest(at_ms, name, pieces, terms))
+        return NoRoom(
+            name,
+            f"rate: {terms.rate:g} units a second are asked for",
+            fits=fits,
+            fits_from_ms=self._earliest(at_ms, name, pieces, terms),
+        )
 
     def _earliest(self, at_ms: float, name: str, pieces: list[Piece], terms: Terms) -> float:
         """From when on all of it would fit; it can only become so where something else ends."""
         halls = ("", terms.hall) if terms.hall else ("",)
         lines = [(self._line(hall, without=name), self.available(hall)) for hall in halls]
         begin = pieces[0][0]
-        ends = sorted({at for line, _ in lines for at, before, after in zip(
-            line.marks, [0.0, *line.after], line.after, strict=False) if after < before and at > begin})
+        ends = sorted(
+            {
+                at
+                for line, _ in lines
+                for at, before, after in zip(line.marks, [0.0, *line.after], line.after, strict=False)
+                if after < before and at > begin
+            }
+        )
         for at in ends[:MOST_TRIES]:
             shift = at - begin
-            if all(line.peak(a + shift, b + shift) + rate <= free + EDGE
-                   for line, free in lines for a, b, rate in pieces):
+            if all(
+                line.peak(a + shift, b + shift) + rate <= free + EDGE
+                for line, free in lines
+                for a, b, rate in pieces
+            ):
                 return at
         return 0.0
 
     def _line(self, hall: str = "", without: str = "") -> Line:
-        return Line(piece for one in self.held.values()
-                    if one.name != without and one.state not in (S.SETTLED, S.REFUSED)
-                    and (not hall or any(v.terms.hall == hall for v in one.versions))
-                    for piece in one.pieces(self.tail))
+        return Line(
+            piece
+            for one in self.held.values()
+            if one.name != without
+            and one.state not in (S.SETTLED, S.REFUSED)
+            and (not hall or any(v.terms.hall == hall for v in one.versions))
+            for piece in one.pieces(self.tail)
+        )
 
     def _check(self, at_ms: float) -> None:
         """What is promised fits from here on, but for what stood already when less capacity was stated."""
@@ -633,11 +718,15 @@
             return Applied(error=NotThere(name, "no such contract is known"))
         old = found.newest
         if found.cancelled or found.state in (S.SETTLED, S.REFUSED) or old.times[-1][1] <= at_ms:
-            return Applied(error=WrongState(name, f"it is {'cancelled' if found.cancelled else found.state.value}"))
+            return Applied(
+                error=WrongState(name, f"it is {'cancelled' if found.cancelled else found.state.value}")
+            )
         if len(found.versions) > 1:
             return Applied(error=WrongState(name, "the change before is not through yet"))
         if holds_from < at_ms + 2 * self.tail - EDGE:
-            return Applied(error=BadCall(name, f"holds_from_ms: expected {2 * self.tail:.0f} ms ahead at the least"))
+            return Applied(
+                error=BadCall(name, f"holds_from_ms: expected {2 * self.tail:.0f} ms ahead at the least")
+            )
         if terms is not None and (terms.tenant, terms.hall) != (old.terms.tenant, old.terms.hall):
             return Applied(error=BadCall(name, "tenant: it stays, and the hall as well"))
         times = spans(terms.windows) if terms is not None else []
@@ -645,8 +734,11 @@
             return Applied(error=BadCall(name, "windows: expected one that ends behind holds_from_ms"))
         coming = Version(self.made + 1, terms or old.terms, times, holds_from)
         before = found.pieces(self.tail)
-        more = [one for one in Contract(name, [old, coming]).pieces(self.tail)
-                if one[2] > _height(before, one[0]) + EDGE]
+        more = [
+            one
+            for one in Contract(name, [old, coming]).pieces(self.tail)
+            if one[2] > _height(before, one[0]) + EDGE
+        ]
         if terms is not None and more and (refused := self._refuse(at_ms, name, more, terms)) is not None:
             return Applied(error=refused)
         found.versions.append(coming)
@@ -691,7 +783,8 @@
         self.capacity, self.reserve, self.floor = command.units, command.reserve, command.floor
         self.halls = dict(sorted(command.halls.items()))
         self.stated += 1
-        # What was promised stays promised: it is for `fleet.share` to say who goes first, and nothing new is admitted.
+        # What was promised stays promised: it is for `fleet.share` to say who goes first, and nothing new is
+        # admitted.
         self._booked = {hall: self._line(hall).peak(at_ms, math.inf) for hall in ("", *self.halls)}
         return Applied({"available": self.available(), "over": max(self._booked[""] - self.available(), 0.0)})
 
@@ -734,27 +827,47 @@
     def _tidy(self) -> None:
         """Forget the oldest of the settled."""
         settled = [name for name, one in self.held.items() if one.state is S.SETTLED]
-        for name in settled[:max(len(settled) - MOST_SETTLED, 0)]:
+        for name in settled[: max(len(settled) - MOST_SETTLED, 0)]:
             del self.held[name]
 
     def work(self, view: View) -> list[Command]:
-        """Let the tenants' groups know of versions, time go on, and the capacity be what this gateway knows."""
+        """Let the tenants' groups know of versions, time go on, and the capacity be what this gateway
+        knows."""
         made: list[Command] = []
         units = view.load.get("capacity", 0.0)
         if units > 0.0 and abs(units - self.capacity) > 0.02 * self.capacity:
             reserve = view.load.get("reserve", 1.0 / max(len(view.halls), 2))
-            made.append(Capacity(id=f"capacity/{self.stated}", units=units, reserve=reserve,
-                                 floor=view.load.get("floor", OTHERS_FLOOR * units)))
+            made.append(
+                Capacity(
+                    id=f"capacity/{self.stated}",
+                    units=units,
+                    reserve=reserve,
+                    floor=view.load.get("floor", OTHERS_FLOOR * units),
+                )
+            )
         if any(self._due(view.wall, one) is not None for one in self.held.values()):
             made.append(Pass(id="pass"))
-        wanted = {f"open/{one.name}/{version.number}": (one.name, version) for one in self.held.values()
-                  if one.state not in (S.SETTLED, S.REFUSED)
-                  for version in one.versions if version.number > one.told}
+        wanted = {
+            f"open/{one.name}/{version.number}": (one.name, version)
+            for one in self.held.values()
+            if one.state not in (S.SETTLED, S.REFUSED)
+            for version in one.versions
+            if version.number > one.told
+        }
         for asked in due(self._asked, wanted, view.now):
             name, last = wanted[asked]
-            made.append(Open(id=asked, tenant=last.terms.tenant, contract=name, version=last.number,
-                             rate=last.terms.rate, burst=last.terms.burst, times=tuple(last.times),
-                             holds_from_ms=last.holds_from))
+            made.append(
+                Open(
+                    id=asked,
+                    tenant=last.terms.tenant,
+                    contract=name,
+                    version=last.number,
+                    rate=last.terms.rate,
+                    burst=last.terms.burst,
+                    times=tuple(last.times),
+                    holds_from_ms=last.holds_from,
+                )
+            )
         return made
 
     def seen(self, now: float) -> None:
@@ -762,25 +875,61 @@
 
     def _facts(self, one: Contract) -> dict[str, Any]:
         last = one.newest.terms
-        return {"contract": one.name, "tenant": last.tenant, "rank": last.rank, "hall": last.hall,
-                "surplus": last.surplus, "told": one.told,
-                "versions": [{"version": v.number, "customers": list(v.terms.customers), "rate": v.terms.rate,
-                              "burst": v.terms.burst, "times": [list(span) for span in v.times],
-                              "holds_from_ms": v.holds_from} for v in one.versions]}
+        return {
+            "contract": one.name,
+            "tenant": last.tenant,
+            "rank": last.rank,
+            "hall": last.hall,
+            "surplus": last.surplus,
+            "told": one.told,
+            "versions": [
+                {
+                    "version": v.number,
+                    "customers": list(v.terms.customers),
+                    "rate": v.terms.rate,
+                    "burst": v.terms.burst,
+                    "times": [list(span) for span in v.times],
+                    "holds_from_ms": v.holds_from,
+                }
+                for v in one.versions
+            ],
+        }
 
     def _told_of(self, one: Contract) -> dict[str, Any]:
-        return {"contract": one.name, "state": one.state.value, "version": one.newest.number, "told": one.told,
-                "holds_from_ms": one.newest.holds_from, "terms": msgspec.to_builtins(one.newest.terms),
-                "cancelled": one.cancelled, "since_ms": one.since_ms,
-                "short": {cause: sum(by.values()) for cause, by in one.short.items()}}
+        return {
+            "contract": one.name,
+            "state": one.state.value,
+            "version": one.newest.number,
+            "told": one.told,
+            "holds_from_ms": one.newest.holds_from,
+            "terms": msgspec.to_builtins(one.newest.terms),
+            "cancelled": one.cancelled,
+            "since_ms": one.since_ms,
+            "short": {cause: sum(by.values()) for cause, by in one.short.items()},
+        }
 
     def dump(self) -> Any:
         """See fleet.part."""
         figures, counts = [self.capacity, self.reserve, self.floor], [self.made, self.stated, self.known]
-        return [figures, self.halls, counts, self._booked, [
-            [one.name, one.state.value, one.told, one.cancelled, one.short, one.since_ms, one.last_short_ms,
-             [[v.number, msgspec.to_builtins(v.terms), v.times, v.holds_from] for v in one.versions]]
-            for one in self.held.values()]]
+        return [
+            figures,
+            self.halls,
+            counts,
+            self._booked,
+            [
+                [
+                    one.name,
+                    one.state.value,
+                    one.told,
+                    one.cancelled,
+                    one.short,
+                    one.since_ms,
+                    one.last_short_ms,
+                    [[v.number, msgspec.to_builtins(v.terms), v.times, v.holds_from] for v in one.versions],
+                ]
+                for one in self.held.values()
+            ],
+        ]
 
     def load(self, raw: Any) -> None:
         """See fleet.part."""
@@ -789,13 +938,24 @@
         self.made, self.stated, self.known = counts
         self.held, self._asked = {}, {}
         for name, state, told, cancelled, short, since, last, versions in held:
-            self.held[name] = Contract(name, [
-                Version(number, msgspec.convert(terms, Terms), [(a, b) for a, b in times], holds_from)
-                for number, terms, times, holds_from in versions], State(state), told, cancelled, short, since, last)
+            self.held[name] = Contract(
+                name,
+                [
+                    Version(number, msgspec.convert(terms, Terms), [(a, b) for a, b in times], holds_from)
+                    for number, terms, times, holds_from in versions
+                ],
+                State(state),
+                told,
+                cancelled,
+                short,
+                since,
+                last,
+            )
 
 
 def due(asked: dict[str, tuple[float, float]], wanted: Iterable[str], now: float) -> Iterator[str]:
-    """Which askings of another group are due, each again after a pause that doubles; what is not wanted is forgotten."""
+    """Which askings of another group are due, each again after a pause that doubles; what is not wanted is
+    forgotten."""
     kept = {one: asked.get(one, (now, OPEN_MS)) for one in wanted}
     asked.clear()
     for one, (at, pause) in kept.items():
@@ -806,14 +966,16 @@
             asked[one] = at, pause
 
 
-# The tenant's group --------------------------------------------------------------------------------------------------
+# The tenant's group
+# --------------------------------------------------------------------------------------------------
 
 
 @dataclass(slots=True)
 class Tally:
-    """What was due to a tenant and what it drew: a bucket of the whole rate and burst, over all gateways together, that
-    serves units, of whatever requests.  Settled by busy times, each up to a rest: within one, what was due may be drawn
-    later, from buckets that others had not used up, by the burst at the most and what waits."""
+    """What was due to a tenant and what it drew: a bucket of the whole rate and burst, over all gateways
+    together, that serves units, of whatever requests.  Settled by busy times, each up to a rest: within
+    one, what was due may be drawn later, from buckets that others had not used up, by the burst at the
+    most and what waits."""
 
     told: dict[int, dict[str, tuple[float, float]]] = field(default_factory=dict)  # not compared yet
     due: dict[int, float] = field(default_factory=dict)  # of slices that were, COARSE of them together
@@ -825,8 +987,9 @@
     begun: int = 0  # the first slice of this busy time
 
     def note(self, by: str, slices: Iterable[tuple[int, float, float]], rate: float, newest: int) -> None:
-        """Take in what one gateway tells.  Late, it is due as far as the rate of that time was not asked for elsewhere;
-        what it drew in a busy time that is not over was not there for others, who were due it in its place."""
+        """Take in what one gateway tells.  Late, it is due as far as the rate of that time was not asked
+        for elsewhere; what it drew in a busy time that is not over was not there for others, who were due
+        it in its place."""
         owed = 0.0
         for at, asked, drawn in slices:
             if at <= self.last:
@@ -885,19 +1048,24 @@
     parts: Divided
     coming: Open | None = None
     switch: int = 0  # the last lease's number when this version came into force
-    answers: dict[Id, tuple[str, Any]] = field(default_factory=dict)  # the last call of each holder, for a repeat
-    orders: dict[Id, dict[str, int]] = field(default_factory=dict)  # of calls taken: by process, the newest one last
+    answers: dict[Id, tuple[str, Any]] = field(
+        default_factory=dict
+    )  # the last call of each holder, for a repeat
+    orders: dict[Id, dict[str, int]] = field(
+        default_factory=dict
+    )  # of calls taken: by process, the newest one last
     tally: Tally = field(default_factory=Tally)
 
     def stale(self, command: Lease) -> bool:
-        """Whether a later call of that holder was taken already.  A holder that was forgotten, which is one that held
-        nothing for longest, begins anew; so does the fifth process before this one, which no call outlives.  Order 0 is
-        none."""
+        """Whether a later call of that holder was taken already.  A holder that was forgotten, which is
+        one that held nothing for longest, begins anew; so does the fifth process before this one, which no
+        call outlives.  Order 0 is none."""
         if not command.order:
             return False
         known = self.orders.pop(command.holder, {})
-        stale = command.process in known and (command.process != next(reversed(known))
-                                              or command.order <= known[command.process])
+        stale = command.process in known and (
+            command.process != next(reversed(known)) or command.order <= known[command.process]
+        )
         if not stale:
             known[command.process] = command.order
             if len(known) > MOST_PROCESSES:
@@ -919,7 +1087,9 @@
     def __init__(self, timings: Timings, rules: Invariants) -> None:
         self._timings, self._rules = timings, rules
         self.held: dict[str, Floor] = {}
-        self.last = 0  # number of the last lease of any contract: one that comes back does not begin at 1 again
+        self.last = (
+            0  # number of the last lease of any contract: one that comes back does not begin at 1 again
+        )
         self._told: dict[str, tuple[float, float]] = {}
         self._shorts: dict[str, tuple[float, float]] = {}
         self._fresh: set[str] = set()  # with leases that no clock has seen yet
@@ -959,8 +1129,12 @@
         found = self.held.get(command.contract)
         if found is None:
             if len(self.held) >= MOST_FLOORS:
-                return Applied(error=Crowded(command.contract, f"{MOST_FLOORS} contracts are open in this group"))
-            found = self.held[command.contract] = Floor(command.tenant, 0, 0.0, [], Divided(0.0, 0.0, even=False))
+                return Applied(
+                    error=Crowded(command.contract, f"{MOST_FLOORS} contracts are open in this group")
+                )
+            found = self.held[command.contract] = Floor(
+                command.tenant, 0, 0.0, [], Divided(0.0, 0.0, even=False)
+            )
         self._turn(at_ms, found)
         if command.version > found.version:
             if at_ms >= command.holds_from_ms:
@@ -981,7 +1155,12 @@
 
     def _take(self, one: Floor, opened: Open) -> None:
         first = one.version == 0
-        one.version, one.rate, one.times, one.tenant = opened.version, opened.rate, list(opened.times), opened.tenant
+        one.version, one.rate, one.times, one.tenant = (
+            opened.version,
+            opened.rate,
+            list(opened.times),
+            opened.tenant,
+        )
         one.parts.resize(opened.rate if opened.times else 0.0, opened.burst)
         if first:
             one.parts.free = opened.burst
@@ -996,24 +1175,52 @@
         if found.stale(command):
             return Applied(error=LeaseOver(command.holder, "a later call of this holder was taken already"))
         span = next((span for span in found.times if span[0] - EARLY_MS <= at_ms < span[1]), None)
-        # Outside of a window nothing is granted; what a holder says that it keeps counts until it is told better.
+        # Outside of a window nothing is granted; what a holder says that it keeps counts until it is told
+        # better.
         wish, soft = (min(command.wish, found.parts.aim), command.soft) if span is not None else (0.0, False)
         found.parts.last = self.last
-        given = found.parts.ask(command.holder, command.number, command.keep, wish, command.room, self._rules,
-                                command.hold, command.need, soft, command.least, command.pulls)
+        given = found.parts.ask(
+            command.holder,
+            command.number,
+            command.keep,
+            wish,
+            command.room,
+            self._rules,
+            command.hold,
+            command.need,
+            soft,
+            command.least,
+            command.pulls,
+        )
         if not isinstance(given, Grant):
             return Applied(error=given)
         if given.number:
-            self._rules.check(Rule.LEASE_ONCE, given.number > self.last,
-                              lambda: f"{command.contract}: lease {given.number} was given before")
+            self._rules.check(
+                Rule.LEASE_ONCE,
+                given.number > self.last,
+                lambda: f"{command.contract}: lease {given.number} was given before",
+            )
             self.last = given.number
             self._fresh.add(command.contract)
         until, then = self._until(found, span) if span is not None else (0.0, 0.0)
-        value = {"number": given.number, "part": given.part, "room": given.room, "cap": given.cap, "fair": given.fair,
-                 "most": given.most, "lack": given.lack,
-                 "fair_cap": given.fair_cap, "spare": given.spare, "holders": given.holders, "version": found.version,
-                 "from_ms": span[0] if span is not None else 0.0, "until_ms": until, "then": then, "at_ms": at_ms,
-                 "free": found.parts.free}
+        value = {
+            "number": given.number,
+            "part": given.part,
+            "room": given.room,
+            "cap": given.cap,
+            "fair": given.fair,
+            "most": given.most,
+            "lack": given.lack,
+            "fair_cap": given.fair_cap,
+            "spare": given.spare,
+            "holders": given.holders,
+            "version": found.version,
+            "from_ms": span[0] if span is not None else 0.0,
+            "until_ms": until,
+            "then": then,
+            "at_ms": at_ms,
+            "free": found.parts.free,
+        }
         if given.number:
             found.answers[command.holder] = command.id, value
         else:
@@ -1022,7 +1229,8 @@
 
     @staticmethod
     def _until(found: Floor, span: Span) -> tuple[float, float]:
-        """The moment at which a lease changes by itself, and by what factor: a window's end, or a version's moment."""
+        """The moment at which a lease changes by itself, and by what factor: a window's end, or a
+        version's moment."""
         coming = found.coming
         if coming is None or coming.holds_from_ms >= span[1]:
             return span[1], 0.0
@@ -1036,21 +1244,43 @@
         made: list[Command] = [
             EndLease(id=f"end/{name}/{number}", tenant=one.tenant, contract=name, holder=who, number=number)
             for name, one in self.held.items()
-            for who, number in one.parts.over(view.now, self._timings.outlast(), view.lead_since)]
-        wanted = {f"told/{name}/{one.version}": (name, one)
-                  for name, one in self.held.items() if one.version and one.through()}
-        made += [Told(id=asked, contract=wanted[asked][0], version=wanted[asked][1].version)
-                 for asked in due(self._told, wanted, view.now)]
+            for who, number in one.parts.over(view.now, self._timings.outlast(), view.lead_since)
+        ]
+        wanted = {
+            f"told/{name}/{one.version}": (name, one)
+            for name, one in self.held.items()
+            if one.version and one.through()
+        }
+        made += [
+            Told(id=asked, contract=wanted[asked][0], version=wanted[asked][1].version)
+            for asked in due(self._told, wanted, view.now)
+        ]
         for one in self.held.values():  # a version whose moment has come, though nobody asks for a part
             if one.coming is not None and view.wall >= one.coming.holds_from_ms:
                 made.append(TurnFloor(id="turn", tenant=one.tenant, contract=one.coming.contract))
         over = int((view.wall - REST_MS) // SLICE_MS) - SETTLED_SLICES
-        made += [TurnFloor(id="tally", tenant=one.tenant, contract=name) for name, one in self.held.items()
-                 if (one.tally.owed > EDGE and over > one.tally.last) or (one.tally.told and over > min(one.tally.told))]
-        shorts = {f"short/{name}/{one.tally.short:.3f}": (name, one) for name, one in self.held.items()
-                  if one.tally.short > EDGE}
-        made += [Short(id=asked, contract=shorts[asked][0], by="-", cause=NO_LEASE, units=shorts[asked][1].tally.short,
-                       since_ms=shorts[asked][1].tally.last * SLICE_MS) for asked in due(self._shorts, shorts, view.now)]
+        made += [
+            TurnFloor(id="tally", tenant=one.tenant, contract=name)
+            for name, one in self.held.items()
+            if (one.tally.owed > EDGE and over > one.tally.last)
+            or (one.tally.told and over > min(one.tally.told))
+        ]
+        shorts = {
+            f"short/{name}/{one.tally.short:.3f}": (name, one)
+            for name, one in self.held.items()
+            if one.tally.short > EDGE
+        }
+        made += [
+            Short(
+                id=asked,
+                contract=shorts[asked][0],
+                by="-",
+                cause=NO_LEASE,
+                units=shorts[asked][1].tally.short,
+                since_ms=shorts[asked][1].tally.last * SLICE_MS,
+            )
+            for asked in due(self._shorts, shorts, view.now)
+        ]
         return made
 
     def seen(self, now: float) -> None:
@@ -1062,25 +1292,65 @@
 
     def told(self) -> dict[str, Any]:
         """For operators: what is granted of each contract, to how many."""
-        return {name: {"version": one.version, "rate": one.rate, "granted": one.parts.granted(),
-                       "holders": len(one.parts.held)} for name, one in self.held.items()}
+        return {
+            name: {
+                "version": one.version,
+                "rate": one.rate,
+                "granted": one.parts.granted(),
+                "holders": len(one.parts.held),
+            }
+            for name, one in self.held.items()
+        }
 
     def dump(self) -> Any:
         """See fleet.part."""
-        return [self.last, [[name, one.tenant, one.version, one.rate, one.times, one.parts.dump(),
-                             msgspec.to_builtins(one.coming), one.switch, one.answers, one.orders,
-                             [[[at, by] for at, by in one.tally.told.items()], list(one.tally.due.items()),
-                              one.tally.level, one.tally.last, one.tally.owed, one.tally.gone, one.tally.short,
-                               one.tally.begun]]
-                            for name, one in self.held.items()]]
+        return [
+            self.last,
+            [
+                [
+                    name,
+                    one.tenant,
+                    one.version,
+                    one.rate,
+                    one.times,
+                    one.parts.dump(),
+                    msgspec.to_builtins(one.coming),
+                    one.switch,
+                    one.answers,
+                    one.orders,
+                    [
+                        [[at, by] for at, by in one.tally.told.items()],
+                        list(one.tally.due.items()),
+                        one.tally.level,
+                        one.tally.last,
+                        one.tally.owed,
+                        one.tally.gone,
+                        one.tally.short,
+                        one.tally.begun,
+                    ],
+                ]
+                for name, one in self.held.items()
+            ],
+        ]
 
     def load(self, raw: Any) -> None:
         """See fleet.part."""
         self.last, self.held, self._told, self._shorts = raw[0], {}, {}, {}
         for name, tenant, version, rate, times, parts, coming, switch, answers, orders, tally in raw[1]:
-            self.held[name] = Floor(tenant, version, rate, [(a, b) for a, b in times], Divided.load(parts),
-                                    msgspec.convert(coming, Open | None), switch,
-                                    {who: (asked, value) for who, (asked, value) in answers.items()}, orders,
-                                    Tally({at: {who: (asked, drawn) for who, (asked, drawn) in by.items()}
-                                           for at, by in tally[0]}, dict(tally[1]), *tally[2:]))
+            self.held[name] = Floor(
+                tenant,
+                version,
+                rate,
+                [(a, b) for a, b in times],
+                Divided.load(parts),
+                msgspec.convert(coming, Open | None),
+                switch,
+                {who: (asked, value) for who, (asked, value) in answers.items()},
+                orders,
+                Tally(
+                    {at: {who: (asked, drawn) for who, (asked, drawn) in by.items()} for at, by in tally[0]},
+                    dict(tally[1]),
+                    *tally[2:],
+                ),
+            )
         self._fresh = set(self.held)
--- a/fleet/errors.py
+++ b/fleet/errors.py
@@ -1,4 +1,5 @@
-"""What can go wrong with what the fleet shares, each kind a type of its own that says what an operator can do.
+"""What can go wrong with what the fleet shares, each kind a type of its own that says what an operator can
+do.
 
 Errors are values.  `docs/operators/errors.md` holds the same table; a test keeps both in step.
 """
@@ -59,8 +60,10 @@
     """Too few copies of a group are left to acknowledge anything."""
 
     code = "majority-lost"
-    do = ("Bring the lost machines back with their disks. Where the disks are gone for good, see 'A group that has "
-          "lost its majority' on the operators' page.")
+    do = (
+        "Bring the lost machines back with their disks. Where the disks are gone for good, see 'A group that has "
+        "lost its majority' on the operators' page."
+    )
 
 
 class NewIncarnation(FleetError, frozen=True, tag="new-incarnation"):
@@ -81,7 +84,9 @@
     """A peer that belongs to a fleet of another name or another founding."""
 
     code = "another-fleet"
-    do = "Compare [fleet] name and members on both machines; a folder from another fleet has to be moved away."
+    do = (
+        "Compare [fleet] name and members on both machines; a folder from another fleet has to be moved away."
+    )
 
 
 class BadFrame(FleetError, frozen=True, tag="bad-frame"):
@@ -150,8 +155,40 @@
 
 
 ALL: tuple[type[FleetError], ...] = (
-    BadCall, NoLeader, UnknownOutcome, Crowded, MajorityLost, NewIncarnation, StaleIncarnation, AnotherFleet, BadFrame,
-    StoreFailed, StoreDamaged, NoRoom, NotThere, WrongState, TakenId, LeaseOver, InvariantBroken)
-AnyError = (BadCall | NoLeader | UnknownOutcome | Crowded | MajorityLost | NewIncarnation | StaleIncarnation
-            | AnotherFleet | BadFrame | StoreFailed | StoreDamaged | NoRoom | NotThere | WrongState | TakenId | LeaseOver
-            | InvariantBroken)
+    BadCall,
+    NoLeader,
+    UnknownOutcome,
+    Crowded,
+    MajorityLost,
+    NewIncarnation,
+    StaleIncarnation,
+    AnotherFleet,
+    BadFrame,
+    StoreFailed,
+    StoreDamaged,
+    NoRoom,
+    NotThere,
+    WrongState,
+    TakenId,
+    LeaseOver,
+    InvariantBroken,
+)
+AnyError = (
+    BadCall
+    | NoLeader
+    | UnknownOutcome
+    | Crowded
+    | MajorityLost
+    | NewIncarnation
+    | StaleIncarnation
+    | AnotherFleet
+    | BadFrame
+    | StoreFailed
+    | StoreDamaged
+    | NoRoom
+    | NotThere
+    | WrongState
+    | TakenId
+    | LeaseOver
+    | InvariantBroken
+)
--- a/fleet/events.py
+++ b/fleet/events.py
@@ -8,7 +8,8 @@
 from fleet.errors import FleetError
 from fleet.messages import AnyMessage, Config, Entry, Id
 
-# What a store keeps of one group -------------------------------------------------------------------------------------
+# What a store keeps of one group
+# -------------------------------------------------------------------------------------
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,7 +55,8 @@
     entries: tuple[Entry, ...] = ()
 
 
-# Effects of a replica, and of the node that holds many ---------------------------------------------------------------
+# Effects of a replica, and of the node that holds many
+# ---------------------------------------------------------------
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,8 +69,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Store:
-    """Put records on stable storage, in order, then come back with Stored(group, seq).  Several may be out; the shell
-    may put many groups' under one fsync.  They are answered in the order in which they were asked."""
+    """Put records on stable storage, in order, then come back with Stored(group, seq).  Several may be
+    out; the shell may put many groups' under one fsync.  They are answered in the order in which they were
+    asked."""
 
     group: str
     seq: int
@@ -94,7 +97,8 @@
 
 Effect = Send | Store | Done | Say
 
-# Events of a replica --------------------------------------------------------------------------------------------------
+# Events of a replica
+# --------------------------------------------------------------------------------------------------
 
 
 @dataclass(frozen=True, slots=True)
@@ -142,7 +146,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Change:
-    """Take `who` in as a learner, make a learner a voter, or let one go; refused while another change is under way."""
+    """Take `who` in as a learner, make a learner a voter, or let one go; refused while another change is
+    under way."""
 
     token: str
     act: str  # "learn", "promote" or "remove"
@@ -158,13 +163,14 @@
 
 ReplicaEvent = Tick | Received | Stored | StoreBroke | Propose | Read | Change | HandOver
 
-# Further events of a node ---------------------------------------------------------------------------------------------
+# Further events of a node
+# ---------------------------------------------------------------------------------------------
 
 
 @dataclass(frozen=True, slots=True)
 class Call:
-    """The operators' FLEET call, or a part of this gateway: a command for the group that holds its key.  The node
-    answers with Done(token, ...) exactly once, within `call_ms`."""
+    """The operators' FLEET call, or a part of this gateway: a command for the group that holds its key.
+    The node answers with Done(token, ...) exactly once, within `call_ms`."""
 
     token: str
     command: Any  # a fleet.part.Command
