--- a/fleet/floor.py
+++ b/fleet/floor.py
@@ -1,18 +1,20 @@
-"""A gateway's side of contracts: its part of each, held under a lease, and the bucket that requests draw from.
+"""A gateway's side of contracts: its part of each, held under a lease, and the bucket that requests draw
+from.
 
-It asks its tenant's group for a part, in the order of `fleet.leases`: use less, give back, be granted, use more.  A
-lease counts from before it was asked for first, by this machine's monotonic clock, and ends by it, whatever was lost.  A
-window's begin and end, and the moment of another version, go by `wall`.
+It asks its tenant's group for a part, in the order of `fleet.leases`: use less, give back, be granted, use
+more.  A lease counts from before it was asked for first, by this machine's monotonic clock, and ends by it,
+whatever was lost.  A window's begin and end, and the moment of another version, go by `wall`.
 
-Where the tenant's traffic comes in moves every few seconds, and within that second its rate has to be there.  So
+Where the tenant's traffic comes in moves every few seconds, and within that second its rate has to be there.
+So
 
 - a gateway that the traffic left gives its part back after a few empty gaps between requests, not after an average;
 - one that it came to asks at once, and goes on asking until it has its due;
 - meanwhile it serves from its bucket: every gateway of the fleet keeps an even part of the contract's burst, without
   any rate; the one that was left fills its bucket meanwhile, and keeps that for the way back.
 
-A part that the tenant does not use is lent to others here; it is theirs no more with the tenant's first request here,
-and within `BUSY_MS` and a call where the tenant asks elsewhere.
+A part that the tenant does not use is lent to others here; it is theirs no more with the tenant's first
+request here, and within `BUSY_MS` and a call where the tenant asks elsewhere.
 
 Source: leases as in Gray and Cheriton, SOSP 1989; the bucket is GCRA's (ITU-T I.371) with its level kept.
 """
@@ -57,7 +59,10 @@
 LATE_TURN_MS = 100.0  # behind its longest wait a request has had its turn, or will never
 STAMPED = 0.25  # of a call's time has gone by when the group's leader stamps it with the group's time
 FAST_MS, SLOW_MS = 150.0, 1000.0  # averages of what is asked for
-QUIET_GAPS, GONE_GAPS = 3.0, 6.0  # mean gaps between requests after which it looks, and after which it gives up
+QUIET_GAPS, GONE_GAPS = (
+    3.0,
+    6.0,
+)  # mean gaps between requests after which it looks, and after which it gives up
 GAP_LEAST_MS, GAP_MOST_MS = 25.0, 1000.0
 YOUNG_MS = 40.0  # an average is over so long at the least
 FELL = 0.7  # a wish below so much of the last one is told at once
@@ -75,7 +80,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Reserved:
-    """Units drawn under a lease: the request goes before all others, and is refused for no quota and no load."""
+    """Units drawn under a lease: the request goes before all others, and is refused for no quota and no
+    load."""
 
     contract: str
     units: float
@@ -102,7 +108,12 @@
             self.born = self.at = now
             self.seen = 0
         self._fade(now)
-        self.fast, self.slow, self.count, self.last = self.fast + units, self.slow + units, self.count + 1.0, now
+        self.fast, self.slow, self.count, self.last = (
+            self.fast + units,
+            self.slow + units,
+            self.count + 1.0,
+            now,
+        )
         self.seen += 1
         self.largest = max(units, 0.99 * self.largest)
         self.mean = SLOW_MS * self._whole(SLOW_MS) / self.count
@@ -194,11 +205,14 @@
 
     def rate(self, wall: float) -> float:
         """Of the contract, units a second."""
-        return next((float(v["rate"]) for v in reversed(self.facts["versions"]) if wall >= v["holds_from_ms"]), EDGE)
+        return next(
+            (float(v["rate"]) for v in reversed(self.facts["versions"]) if wall >= v["holds_from_ms"]), EDGE
+        )
 
     def draw(self, now: float, wall: float, units: float, noted: list[float]) -> bool:
         """Take units from the bucket, if they are there.  `noted`: the slice in which they were asked for."""
-        # Without its due part yet, the bucket has to last until that comes: no faster than the contract's rate.
+        # Without its due part yet, the bucket has to last until that comes: no faster than the contract's
+        # rate.
         paced = self.part <= 0.0 or self.lacks(self.wish)
         if self.level < units - EDGE or (paced and now < self.paced):
             return False
@@ -222,8 +236,8 @@
         return wall if math.isnan(self.group) else now + self.group
 
     def _coarse(self) -> None:
-        """Cut off for long: take older slices together, but for those in which requests may wait yet; drop the oldest
-        where that is not enough, which are told by nobody."""
+        """Cut off for long: take older slices together, but for those in which requests may wait yet; drop
+        the oldest where that is not enough, which are told by nobody."""
         kept = self.slices
         recent = next(reversed(kept)) - int((WAIT_MS + LATE_TURN_MS) // SLICE_MS)
         self.slices = {}
@@ -280,7 +294,8 @@
 class Floor:
     """All stakes of one gateway; a `fleet.setup.Holder`.
 
-    `me`: this member; `process`: drawn at each start, so that no id and no total of a process before is meant.
+    `me`: this member; `process`: drawn at each start, so that no id and no total of a process before is
+    meant.
     """
 
     def __init__(self, me: Id, process: str, timings: Timings, hall: str = "", gateways: int = 1) -> None:
@@ -305,7 +320,8 @@
 
     @staticmethod
     def _line(command: Command) -> str:
-        """Calls of one line are made one after the other; what is reported waits for no lease, and no lease for it."""
+        """Calls of one line are made one after the other; what is reported waits for no lease, and no
+        lease for it."""
         return f"{command.key()}#" if isinstance(command, Used) else command.key()
 
     def _soon(self, now: float, one: Stake) -> None:
@@ -319,23 +335,39 @@
     def _calls(self, now: float, wall: float) -> Iterator[Command]:
         busy = set(self._out)
         for one in sorted(self.stakes.values(), key=lambda stake: stake.sent):
-            again = one.out is not None and now >= one.again  # the same call: nothing else of its key goes before it
-            if (again or f"t:{one.tenant}" not in busy) and (lease := self._lease(now, wall, one)) is not None:
+            again = (
+                one.out is not None and now >= one.again
+            )  # the same call: nothing else of its key goes before it
+            if (again or f"t:{one.tenant}" not in busy) and (
+                lease := self._lease(now, wall, one)
+            ) is not None:
                 busy.add(lease.key())
                 yield lease
         for one in self.stakes.values():
-            if f"t:{one.tenant}#" not in busy and now >= one.report and (used := self._used(now, wall, one)) is not None:
+            if (
+                f"t:{one.tenant}#" not in busy
+                and now >= one.report
+                and (used := self._used(now, wall, one)) is not None
+            ):
                 one.report = now + (USED_MS if len(used.slices) < MOST_TOLD else 0.0)
                 busy.add(self._line(used))
                 yield used
         if "" in busy:
             return
         for one in self.stakes.values():
-            cause = next((cause for cause, units in one.short.items() if units > one.told.get(cause, 0.0)), None)
+            cause = next(
+                (cause for cause, units in one.short.items() if units > one.told.get(cause, 0.0)), None
+            )
             if cause is not None and now >= one.shorts:
                 one.shorts = now + REPORT_MS
-                yield Short(id=self._id(), contract=one.contract, by=f"{self._me}#{self._process}", cause=cause,
-                            units=one.short[cause], since_ms=one.since[cause])
+                yield Short(
+                    id=self._id(),
+                    contract=one.contract,
+                    by=f"{self._me}#{self._process}",
+                    cause=cause,
+                    units=one.short[cause],
+                    since_ms=one.since[cause],
+                )
                 return
         if now >= self._look + self.known_ms:
             self._look = now
@@ -344,9 +376,20 @@
     def _used(self, now: float, wall: float, one: Stake) -> Used | None:
         """What was asked for and drawn, in slices that are over and can change no more."""
         last = int((one.time(now, wall) - WAIT_MS - LATE_TURN_MS) // SLICE_MS)
-        told = [(number, asked, drawn) for number, (asked, drawn) in one.slices.items() if number < last][:MOST_TOLD]
-        return Used(id=self._id(), tenant=one.tenant, contract=one.contract, by=f"{self._me}#{self._process}",
-                    slices=tuple(told)) if told else None
+        told = [(number, asked, drawn) for number, (asked, drawn) in one.slices.items() if number < last][
+            :MOST_TOLD
+        ]
+        return (
+            Used(
+                id=self._id(),
+                tenant=one.tenant,
+                contract=one.contract,
+                by=f"{self._me}#{self._process}",
+                slices=tuple(told),
+            )
+            if told
+            else None
+        )
 
     def _id(self) -> str:
         self._made += 1
@@ -366,7 +409,8 @@
             return self._ask(now, one, 0.0, 0.0, False, False)  # the window is over: give it back
         rate, quiet = one.rate(wall), now - one.demand.last
         queued = one.queued()
-        # The traffic seems to have gone: that is told at once where others have less than their due, else after a rest.
+        # The traffic seems to have gone: that is told at once where others have less than their due, else
+        # after a rest.
         gone = quiet >= REST_MS or (one.demand.gone(now) and (one.lack > EDGE or one.wish <= 0.0))
         wish = min(queued if gone else max(one.demand.rate(now), queued), rate)
         one.pulls = one.took <= PULL_MOST_MS and (one.demand.seen < 3 or one.demand.mean > PULL_GAP_MS)
@@ -376,19 +420,29 @@
         turned = one.until_ms == math.inf and one.number != 0  # its version or window has turned
         above = one.part - one.most
         moving = now < one.moved + LOOK_MS and wish * (1.0 - SLIGHT) > one.part
-        urgent = (bool(one.waiting) or one.lacks(wish) or moving or one.wish < FELL * wish or turned
-                  or above > SLIGHT * rate or one.sent < one.demand.last + REST_MS <= now
-                  or (one.demand.gone(now, QUIET_GAPS) and quiet < LOOK_MS and one.part > EDGE))
+        urgent = (
+            bool(one.waiting)
+            or one.lacks(wish)
+            or moving
+            or one.wish < FELL * wish
+            or turned
+            or above > SLIGHT * rate
+            or one.sent < one.demand.last + REST_MS <= now
+            or (one.demand.gone(now, QUIET_GAPS) and quiet < LOOK_MS and one.part > EDGE)
+        )
         when = one.sent + (min(one.pause, regular) if urgent else regular)
         if now < when:
             self.due = min(self.due, when)
             return None
         # What nobody lacks stays where it was last used, and is shared out evenly only after a rest.
         keep = one.fair if quiet >= REST_MS else one.part - max(above, 0.0) + max(wish - one.wish, 0.0)
-        return self._ask(now, one, min(one.part, max(keep, 0.0)), wish, quiet >= REST_MS or wish > 0.0, True, urgent)
+        return self._ask(
+            now, one, min(one.part, max(keep, 0.0)), wish, quiet >= REST_MS or wish > 0.0, True, urgent
+        )
 
-    def _ask(self, now: float, one: Stake, keep: float, wish: float, soft: bool, stay: bool,
-             urgent: bool = False) -> Lease:
+    def _ask(
+        self, now: float, one: Stake, keep: float, wish: float, soft: bool, stay: bool, urgent: bool = False
+    ) -> Lease:
         """Use less from here on, then say so."""
         hold = min(one.cap, max(one.fair_cap, min(one.level, one.queued()))) if stay else 0.0
         standby = one.burst() * STANDBY / (one.holders + 1)
@@ -400,20 +454,37 @@
             room = max(room, one.level - max(FULL * hold if not pulls else 0.0, least), 0.0)
             hold = min(hold, one.cap - room)
         elif wish <= 0.0 and one.holders > 1 and one.took <= PULL_MOST_MS:
-            # The traffic is elsewhere, or nowhere: units are where anybody gets them soon, but for some to begin with.
+            # The traffic is elsewhere, or nowhere: units are where anybody gets them soon, but for some to
+            # begin with.
             hold = min(hold, standby)
             room = max(one.level - hold, 0.0)
         one.part, one.cap, one.level = keep, hold, one.level - room  # from here on `level` is what it keeps
         changed = not one.wish <= 2.0 * wish <= 4.0 * one.wish
-        one.pause = URGENT_MS if changed or not urgent else min(1.5 * one.pause, PULL_MS if one.waiting else LACKS_MS)
+        one.pause = (
+            URGENT_MS if changed or not urgent else min(1.5 * one.pause, PULL_MS if one.waiting else LACKS_MS)
+        )
         one.wish, one.sent, one.asked, one.again = wish, now, now, now + REPEAT_MS
         # Units that nobody holds are for whoever has requests waiting; or for one that is alone.
         need = (standby if wish <= 0.0 and stay else one.queued()) - one.level
         if stay and (one.holders == 1 or one.number == 0):
             need = max(need, min(hold, one.fair_cap) - one.level)
-        one.out = Lease(id=self._id(), tenant=one.tenant, contract=one.contract, holder=self._me, number=one.number,
-                        keep=keep, wish=wish, room=room, hold=hold, need=max(need, 0.0), soft=soft, least=least,
-                        pulls=one.pulls, process=self._process, order=self._made)
+        one.out = Lease(
+            id=self._id(),
+            tenant=one.tenant,
+            contract=one.contract,
+            holder=self._me,
+            number=one.number,
+            keep=keep,
+            wish=wish,
+            room=room,
+            hold=hold,
+            need=max(need, 0.0),
+            soft=soft,
+            least=least,
+            pulls=one.pulls,
+            process=self._process,
+            order=self._made,
+        )
         return one.out
 
     def answered(self, now: float, command: Command, result: Applied | FleetError) -> None:
@@ -478,11 +549,15 @@
             if facts["hall"] and facts["hall"] != self._hall:
                 continue
             name = facts["contract"]
-            one = kept[name] = (self.stakes.get(name)
-                                or Stake(name, facts["tenant"], facts["rank"], facts, [], filled=now))
+            one = kept[name] = self.stakes.get(name) or Stake(
+                name, facts["tenant"], facts["rank"], facts, [], filled=now
+            )
             one.facts, one.rank = facts, facts["rank"]
             one.customers = [(v["holds_from_ms"], frozenset(v["customers"])) for v in facts["versions"]]
-        for name, one in self.stakes.items():  # settled: its lease ends by itself, and what is short is told first
+        for (
+            name,
+            one,
+        ) in self.stakes.items():  # settled: its lease ends by itself, and what is short is told first
             if name not in kept and (one.slices or one.short != one.told) and now < one.ends + LATE_MS:
                 kept[name] = one
         self.stakes = kept
@@ -492,7 +567,8 @@
                 self._of.setdefault(customer, []).append(one)
 
     def take(self, now: float, customer: int, units: float) -> Reserved | None:
-        """Draw from the first contract of a customer that has room here.  None: `wait`, or it is an ordinary request."""
+        """Draw from the first contract of a customer that has room here.  None: `wait`, or it is an
+        ordinary request."""
         for one in self._open(now, customer):
             one.note(now, now + self._ahead, units)
             if not one.waiting and one.draw(now, now + self._ahead, units, one.noted):
@@ -502,8 +578,9 @@
         return None
 
     def wait(self, now: float, customer: int, units: float, token: Any) -> bool:
-        """Let a request that `take` had no room for wait its turn, in order, `WAIT_MS` at the most; `turns` gives it
-        back.  False where more wait than can have their turn by then: it is an ordinary request."""
+        """Let a request that `take` had no room for wait its turn, in order, `WAIT_MS` at the most;
+        `turns` gives it back.  False where more wait than can have their turn by then: it is an ordinary
+        request."""
         wall = now + self._ahead
         for one in self._open(now, customer):
             most = one.rate(wall) * (WAIT_MS if one.pulls or one.lacks(one.wish) else QUEUE_MS)
@@ -534,13 +611,17 @@
         wall = now + self._ahead
         for one in self._of.get(customer, ()):
             times = one.times(wall)
-            if times is not None and wall >= times[0] and any(
-                    customer in some for begin, some in one.customers if wall >= begin):
+            if (
+                times is not None
+                and wall >= times[0]
+                and any(customer in some for begin, some in one.customers if wall >= begin)
+            ):
                 one.fill(now, wall)
                 yield one
 
     def failed(self, now: float, reserved: Reserved, cause: str) -> None:
-        """Units drawn under a contract that no server served: short, by a cause ("load", "server lost", ...)."""
+        """Units drawn under a contract that no server served: short, by a cause ("load", "server lost",
+        ...)."""
         if (one := self.stakes.get(reserved.contract)) is not None:
             one.count(cause, reserved.units, now + self._ahead)
 
@@ -562,7 +643,18 @@
 
     def status(self, now: float) -> dict[str, Any]:
         """For operators."""
-        return {name: {"part": one.part, "level": one.level, "fair": one.fair, "asked": one.demand.rate(now),
-                       "call_ms": one.took, "waiting": one.queued(), "holders": one.holders,
-                       "ends_in_ms": max(one.ends - now, 0.0), "drawn": one.drawn, "short": dict(one.short)}
-                for name, one in self.stakes.items()}
+        return {
+            name: {
+                "part": one.part,
+                "level": one.level,
+                "fair": one.fair,
+                "asked": one.demand.rate(now),
+                "call_ms": one.took,
+                "waiting": one.queued(),
+                "holders": one.holders,
+                "ends_in_ms": max(one.ends - now, 0.0),
+                "drawn": one.drawn,
+                "short": dict(one.short),
+            }
+            for name, one in self.stakes.items()
+        }
--- a/fleet/founding.py
+++ b/fleet/founding.py
@@ -1,16 +1,18 @@
 """How a fleet is first formed, so that a member that lost its disk can never pass for a founder.
 
-Every member starts with an empty store and an incarnation drawn with it.  Without a founding record it asks the others.
-Only the member with the lowest name on the operators' list makes one, and only when *every* other listed member has
-answered, within the last `FRESH_MS`, that it has none; each has then put on its own disk that it answered this Id, and
-from there on takes a record that names it only from that Id or by its hand.  So once all have answered none, no older
-record can come to life again at a founder, and as long as one founder lives with its disk there is no second founding.
-
-A record counts once it is stored, at its maker as at all others.  Whoever is named in it as it is now (name and
-incarnation) is a founder; anybody else is a newcomer and is taken in through the log.
-
-Taken for granted: the list is the same on all machines; one process runs under one name; a message to an Id reaches
-that Id or nobody.  Not promised: a founding while a listed member is down (nothing is promised yet by anybody then).
+Every member starts with an empty store and an incarnation drawn with it.  Without a founding record it asks
+the others. Only the member with the lowest name on the operators' list makes one, and only when *every* other
+listed member has answered, within the last `FRESH_MS`, that it has none; each has then put on its own disk
+that it answered this Id, and from there on takes a record that names it only from that Id or by its hand.  So
+once all have answered none, no older record can come to life again at a founder, and as long as one founder
+lives with its disk there is no second founding.
+
+A record counts once it is stored, at its maker as at all others.  Whoever is named in it as it is now (name
+and incarnation) is a founder; anybody else is a newcomer and is taken in through the log.
+
+Taken for granted: the list is the same on all machines; one process runs under one name; a message to an Id
+reaches that Id or nobody.  Not promised: a founding while a listed member is down (nothing is promised yet by
+anybody then).
 """
 
 from __future__ import annotations
@@ -27,7 +29,10 @@
 
 MOST_MEMBERS = 1024
 MOST_BYTES = 256 * 1024  # of a record
-FIRST_ASK_MS, LAST_ASK_MS = 200.0, 2000.0  # between rounds of asking, times 0.75 to 1.25; grows by a half each
+FIRST_ASK_MS, LAST_ASK_MS = (
+    200.0,
+    2000.0,
+)  # between rounds of asking, times 0.75 to 1.25; grows by a half each
 FRESH_MS = 6000.0  # an answer counts for so long
 ASK_OTHERS = 3  # beside the lowest name, where this one is not it
 
@@ -58,7 +63,8 @@
 
 
 class Founding:
-    """One member's way to the record.  `due`: when the next Tick has to come; infinite once the record is stored."""
+    """One member's way to the record.  `due`: when the next Tick has to come; infinite once the record is
+    stored."""
 
     def __init__(self, setup: Setup, saved: Saved, draw: Random, now: float) -> None:
         self.record: Record | None = None  # once it is stored
@@ -108,7 +114,8 @@
     def _named(self, record: Record) -> bool:
         return any(who == self._setup.id for who, _ in record.members)
 
-    # Asking ----------------------------------------------------------------------------------------------------------
+    # Asking
+    # ----------------------------------------------------------------------------------------------------------
 
     def _round(self, now: float, out: list[Send | Store | Say]) -> None:
         self._wait = min(self._wait * 1.5, LAST_ASK_MS)
@@ -130,9 +137,14 @@
         if any(now - self._none.get(name, (-math.inf, ""))[0] > FRESH_MS for name in self._others):
             return False
         ids = {self._setup.me: self._setup.id, **{name: self._none[name][1] for name in self._others}}
-        record = Record(self._setup.fleet, f"{self._draw.getrandbits(64):016x}", self._setup.id,
-                        tuple((ids[name], self._halls[name]) for name in sorted(ids)), self._setup.groups,
-                        self._setup.copies)
+        record = Record(
+            self._setup.fleet,
+            f"{self._draw.getrandbits(64):016x}",
+            self._setup.id,
+            tuple((ids[name], self._halls[name]) for name in sorted(ids)),
+            self._setup.groups,
+            self._setup.copies,
+        )
         self._take(record, out)
         return True
 
@@ -151,13 +163,19 @@
             return
         self.record, self._storing, self.due = self._storing[1], None, math.inf
         self._none.clear()
-        out.append(Say("info", "fleet_founded" if self.record.by == self._setup.id else "fleet_joined",
-                       {"founding": self.record.founding, "founder": self.founder}))
+        out.append(
+            Say(
+                "info",
+                "fleet_founded" if self.record.by == self._setup.id else "fleet_joined",
+                {"founding": self.record.founding, "founder": self.founder},
+            )
+        )
         if self.record.by == self._setup.id:  # told once; whom it does not reach asks
             body = msgspec.msgpack.encode(self.record)
             out += [Send(who, Found(body)) for who, _ in self.record.members if who != self._setup.id]
 
-    # Answering -------------------------------------------------------------------------------------------------------
+    # Answering
+    # -------------------------------------------------------------------------------------------------------
 
     def _received(self, now: float, sender: Id, message: object, out: list[Send | Store | Say]) -> None:
         name = name_of(sender)
@@ -193,10 +211,13 @@
         if record is None:
             out.append(_say(BadFrame(sender, "a founding record that cannot be read")))
         elif record.fleet != self._setup.fleet or (self.record or record).founding != record.founding:
-            out.append(_say(AnotherFleet(sender, f"it belongs to {record.fleet!r}, founding {record.founding}")))
+            out.append(
+                _say(AnotherFleet(sender, f"it belongs to {record.fleet!r}, founding {record.founding}"))
+            )
         elif self.record is None and self._storing is None and self.error is None:
             if self._named(record) and self._lock and self._lock not in (sender, record.by):
-                return  # promised to a later maker: this one is from before it asked, and may be nobody's any more
+                # promised to a later maker: this one is from before it asked, and may be nobody's any more
+                return
             self._take(record, out)
 
 
--- a/fleet/groups.py
+++ b/fleet/groups.py
@@ -1,17 +1,18 @@
 """Which group holds a key, who copies which group, and how a lost copy is made again.
 
-Keys are cut into groups by rendezvous hashing (Thaler and Ravishankar, "Using name-based mappings to increase hit
-rates", 1998) with xxhash.  The founding record gives the first copies; from there on `Placing`, a part of the fleet's
-own group, holds who copies what, and every change is an entry of its log:
+Keys are cut into groups by rendezvous hashing (Thaler and Ravishankar, "Using name-based mappings to increase
+hit rates", 1998) with xxhash.  The founding record gives the first copies; from there on `Placing`, a part of
+the fleet's own group, holds who copies what, and every change is an entry of its log:
 
     Enrol    an Id is its name's present one; the one before is lost for good
     Replace  begins a move of one copy: the group's leader takes `new` in and lets `lost` go (either may be empty)
     Moved    a group's leader reports its voters; the move is over when `new` is among them and `lost` is not
     Forgo    a move that cannot be ended is given up; whoever was taken in as a learner goes again
 
-A group's leader does nothing but `wanted`: learn, wait until it has caught up, promote, remove the lost.  So a group has
-one voter too many for a moment and never one too few, and a removal that would leave fewer living voters than a majority
-waits.  Opinions of membership only decide what the leader of the fleet's group *proposes*.
+A group's leader does nothing but `wanted`: learn, wait until it has caught up, promote, remove the lost.  So
+a group has one voter too many for a moment and never one too few, and a removal that would leave fewer living
+voters than a majority waits.  Opinions of membership only decide what the leader of the fleet's group
+*proposes*.
 """
 
 from __future__ import annotations
@@ -36,7 +37,9 @@
 LONGEST_NAME = 64
 MOST_PAST = 4  # earlier Ids remembered of a name: none of them can come back
 SLOW = "the newcomer does not catch up"
-LONGEST_MOVE_MS = 60_000.0  # a newcomer that takes longer to catch up is given up, and not asked again for as long
+LONGEST_MOVE_MS = (
+    60_000.0  # a newcomer that takes longer to catch up is given up, and not asked again for as long
+)
 FORCED_TERMS = 1 << 20  # a forced group's term goes on by so much: no member given up can have reached it
 
 
@@ -55,13 +58,15 @@
 
 
 def copies_for(copies: int, members: int) -> int:
-    """Copies that a group has: an odd number within `copies` and the members there are; both, where there are two."""
+    """Copies that a group has: an odd number within `copies` and the members there are; both, where there
+    are two."""
     most = min(copies, members)
     return most if most % 2 or most == 2 else most - 1
 
 
 def first_placing(record: Record) -> dict[str, tuple[Id, ...]]:
-    """Voters of each group at the founding: a hall that has none yet first, then who holds least; hashing breaks ties.
+    """Voters of each group at the founding: a hall that has none yet first, then who holds least; hashing
+    breaks ties.
 
     Within a hall nobody holds over one group more than another that could have taken it."""
     count, load = copies_for(record.copies, len(record.members)), Counter[Id]()
@@ -70,8 +75,10 @@
         chosen: list[Id] = []
         halls: set[str] = set()
         for _ in range(count):
-            who, hall = min(((who, hall) for who, hall in record.members if who not in chosen),
-                            key=lambda one: (one[1] in halls, load[one[0]], -_score(group, one[0])))
+            who, hall = min(
+                ((who, hall) for who, hall in record.members if who not in chosen),
+                key=lambda one: (one[1] in halls, load[one[0]], -_score(group, one[0])),
+            )
             chosen.append(who)
             halls.add(hall)
             load[who] += 1
@@ -79,7 +86,8 @@
     return placed
 
 
-# What the log of the fleet's group takes ------------------------------------------------------------------------------
+# What the log of the fleet's group takes
+# ------------------------------------------------------------------------------
 
 
 class Enrol(Command, frozen=True):
@@ -112,7 +120,8 @@
 
 
 class Moved(Command, frozen=True):
-    """A group's voters, as its leader has them committed; `number`: the index of that configuration in its log."""
+    """A group's voters, as its leader has them committed; `number`: the index of that configuration in its
+    log."""
 
     group: str
     voters: tuple[Id, ...]
@@ -174,14 +183,16 @@
         self._slow_since: dict[tuple[Id, int], float] = {}
 
     def begin(self, record: Record) -> None:
-        """As founded: the same at every copy, before any entry is applied.  Changes nothing where there is state."""
+        """As founded: the same at every copy, before any entry is applied.  Changes nothing where there is
+        state."""
         if self.groups:
             return
         self.copies = record.copies
         self.members = {name_of(who): (who, hall) for who, hall in record.members}
         self.groups = {group: Held(voters) for group, voters in first_placing(record).items()}
 
-    # The log ---------------------------------------------------------------------------------------------------------
+    # The log
+    # ---------------------------------------------------------------------------------------------------------
 
     def apply(self, at_ms: float, command: Any) -> Applied:
         """Take a command in."""
@@ -201,7 +212,9 @@
         if move is None or move.new != command.new:
             return Applied(error=WrongState(command.group, "no such move is under way"))
         del self.moves[command.group]
-        if command.new and command.why == SLOW:  # one that was lost meanwhile is as good as any when it is back
+        if (
+            command.new and command.why == SLOW
+        ):  # one that was lost meanwhile is as good as any when it is back
             self.slow[command.new] = self.begun
         return Applied("forgone")
 
@@ -228,7 +241,9 @@
         if command.lost and command.lost not in held.voters:
             return Applied(error=NotThere(command.lost, f"no voter of {command.group}"))
         if command.new and (command.new in held.voters or not self._present(command.new)):
-            return Applied(error=WrongState(command.new, f"a voter of {command.group} already, or not enrolled"))
+            return Applied(
+                error=WrongState(command.new, f"a voter of {command.group} already, or not enrolled")
+            )
         if not command.new and len(held.voters) <= 1:
             return Applied(error=WrongState(command.group, "its last voter"))
         self.moves[command.group] = Move(command.lost, command.new, at_ms)
@@ -241,37 +256,62 @@
             return Applied(error=WrongState(command.group, "a later report is known"))
         self.groups[command.group] = Held(command.voters, command.number, command.behind, held.reports + 1)
         move = self.moves.get(command.group)
-        if move is not None and move.lost not in command.voters and (not move.new or move.new in command.voters):
+        if (
+            move is not None
+            and move.lost not in command.voters
+            and (not move.new or move.new in command.voters)
+        ):
             del self.moves[command.group]
         return Applied("noted")
 
     def look(self, command: Any) -> Applied:
         """For operators: groups with voters, moves, and who is enrolled."""
-        return Applied({"members": {name: {"id": who, "hall": hall} for name, (who, hall) in self.members.items()},
-                        "groups": {group: {"voters": list(held.voters), "behind": list(held.behind)}
-                                   for group, held in self.groups.items()},
-                        "moves": {group: {"lost": move.lost, "new": move.new} for group, move in self.moves.items()},
-                        "state": self.dump()})
+        return Applied(
+            {
+                "members": {name: {"id": who, "hall": hall} for name, (who, hall) in self.members.items()},
+                "groups": {
+                    group: {"voters": list(held.voters), "behind": list(held.behind)}
+                    for group, held in self.groups.items()
+                },
+                "moves": {group: {"lost": move.lost, "new": move.new} for group, move in self.moves.items()},
+                "state": self.dump(),
+            }
+        )
 
     def seen(self, now: float) -> None:
         """Note when moves, and newcomers that were given up, were first seen."""
-        self._since = {key: self._since.get(key, now)
-                       for key in ((group, move.new) for group, move in self.moves.items())}
+        self._since = {
+            key: self._since.get(key, now)
+            for key in ((group, move.new) for group, move in self.moves.items())
+        }
         self._slow_since = {key: self._slow_since.get(key, now) for key in self.slow.items()}
 
     def dump(self) -> Any:
         """Plain data."""
         return msgspec.to_builtins(
-            [self.copies, self.members, self.past, self.groups, self.moves, self.begun, self.slow])
+            [self.copies, self.members, self.past, self.groups, self.moves, self.begun, self.slow]
+        )
 
     def load(self, raw: Any) -> None:
         """In place of all there is."""
-        (self.copies, self.members, self.past, self.groups, self.moves, self.begun, self.slow) = msgspec.convert(
-            raw, tuple[int, dict[str, tuple[Id, str]], dict[str, list[Id]], dict[str, Held], dict[str, Move], int,
-                       dict[Id, int]])
+        (self.copies, self.members, self.past, self.groups, self.moves, self.begun, self.slow) = (
+            msgspec.convert(
+                raw,
+                tuple[
+                    int,
+                    dict[str, tuple[Id, str]],
+                    dict[str, list[Id]],
+                    dict[str, Held],
+                    dict[str, Move],
+                    int,
+                    dict[Id, int],
+                ],
+            )
+        )
         self._since, self._slow_since = {}, {}
 
-    # What it says ----------------------------------------------------------------------------------------------------
+    # What it says
+    # ----------------------------------------------------------------------------------------------------
 
     def voters(self) -> dict[str, tuple[Id, ...]]:
         """Of each group, as last reported."""
@@ -279,39 +319,55 @@
 
     def holds(self, who: Id) -> list[str]:
         """Groups that an Id copies or is to copy."""
-        return [group for group, held in self.groups.items()
-                if who in held.voters or (group in self.moves and self.moves[group].new == who)]
+        return [
+            group
+            for group, held in self.groups.items()
+            if who in held.voters or (group in self.moves and self.moves[group].new == who)
+        ]
 
     def _present(self, who: Id) -> bool:
         known = self.members.get(name_of(who))
         return known is not None and known[0] == who
 
     def missing(self, view: View) -> list[str]:
-        """What keeps the copies from being whole (COPIES_WHOLE), a line each; empty: every group has its copies, all
-        present, alive and caught up, and nothing is on its way."""
+        """What keeps the copies from being whole (COPIES_WHOLE), a line each; empty: every group has its
+        copies, all present, alive and caught up, and nothing is on its way."""
         want = copies_for(self.copies, len(self.members))
-        lines = [f"{group}: {move.new or 'nobody'} for {move.lost or 'nobody'} is under way"
-                 for group, move in self.moves.items()]
+        lines = [
+            f"{group}: {move.new or 'nobody'} for {move.lost or 'nobody'} is under way"
+            for group, move in self.moves.items()
+        ]
         for group, held in self.groups.items():
             if len(held.voters) != want:
                 lines.append(f"{group}: {len(held.voters)} copies of {want}")
-            lines += [f"{group}: {who} is lost" for who in held.voters
-                      if not self._present(who) or who not in view.alive]
-            lines += [f"{group}: {who} has not caught up"
-                      for who in dict.fromkeys((*held.behind, *view.behind.get(group, ()))) if who in held.voters]
+            lines += [
+                f"{group}: {who} is lost"
+                for who in held.voters
+                if not self._present(who) or who not in view.alive
+            ]
+            lines += [
+                f"{group}: {who} has not caught up"
+                for who in dict.fromkeys((*held.behind, *view.behind.get(group, ())))
+                if who in held.voters
+            ]
         return lines
 
-    def wanted(self, group: str, config: Config, behind: tuple[Id, ...], alive: frozenset[Id]) -> Change | None:
-        """The next change that the group's leader makes, given its committed configuration, the learners that have not
-        caught up, and who lives.  None: nothing is to be done, or not yet.  Where the one to remove is the leader
-        itself it hands over first."""
+    def wanted(
+        self, group: str, config: Config, behind: tuple[Id, ...], alive: frozenset[Id]
+    ) -> Change | None:
+        """The next change that the group's leader makes, given its committed configuration, the learners
+        that have not caught up, and who lives.  None: nothing is to be done, or not yet.  Where the one to
+        remove is the leader itself it hands over first."""
         found = self._next(group, config, behind)
         if found is None:
             return None
         act, who = found
         voters = tuple(one for one in config.voters if one != who) + ((who,) if act == "promote" else ())
-        self._rules.check(Rule.CONFIG_ONE, len(set(voters) ^ set(config.voters)) <= 1,
-                          lambda: f"{group}: {config.voters} to {voters}")
+        self._rules.check(
+            Rule.CONFIG_ONE,
+            len(set(voters) ^ set(config.voters)) <= 1,
+            lambda: f"{group}: {config.voters} to {voters}",
+        )
         if act != "learn" and sum(one in alive for one in voters) < Config(voters).majority():
             return None  # it could acknowledge nothing with that
         return Change(f"{act}:{group}:{who}", act, who)
@@ -331,16 +387,22 @@
         return ("remove", move.lost) if move.lost in config.voters else None
 
     def report(self, group: str, config: Config, number: int, behind: tuple[Id, ...] = ()) -> Moved | None:
-        """What the group's leader has to report of its committed configuration; None where it is known.  `behind`:
-        voters that have long not caught up (a second or more), so that each lag is not an entry."""
+        """What the group's leader has to report of its committed configuration; None where it is known.
+        `behind`: voters that have long not caught up (a second or more), so that each lag is not an entry."""
         held = self.groups.get(group)
         behind = tuple(who for who in config.voters if who in behind)
         if held is None or number < held.number or (held.voters, held.behind) == (config.voters, behind):
             return None
-        return Moved(id=f"moved:{group}:{number}:{held.reports}:{'+'.join(behind)}", group=group,
-                     voters=config.voters, number=number, behind=behind)
+        return Moved(
+            id=f"moved:{group}:{number}:{held.reports}:{'+'.join(behind)}",
+            group=group,
+            voters=config.voters,
+            number=number,
+            behind=behind,
+        )
 
-    # The leader's work -----------------------------------------------------------------------------------------------
+    # The leader's work
+    # -----------------------------------------------------------------------------------------------
 
     def work(self, view: View) -> list[Command]:
         """Enrol who came, give up what cannot end, then repair; even out only when nothing else is wrong."""
@@ -357,24 +419,39 @@
         room = view.timings.repair_at_once - len(self.moves)
         if room > 0:
             made += self._repairs(view, room)
-        if not made and not self.moves and not self.missing(view) and (move := self._evened(view)) is not None:
+        if (
+            not made
+            and not self.moves
+            and not self.missing(view)
+            and (move := self._evened(view)) is not None
+        ):
             made.append(self._begin(view, 0, *move))
         return made
 
     def _begin(self, view: View, at: int, group: str, lost: Id, new: Id) -> Replace:
-        return Replace(id=f"replace:{group}:{lost}:{new}:{self.begun + at}", group=group, lost=lost, new=new,
-                       most=view.timings.repair_at_once)
+        return Replace(
+            id=f"replace:{group}:{lost}:{new}:{self.begun + at}",
+            group=group,
+            lost=lost,
+            new=new,
+            most=view.timings.repair_at_once,
+        )
 
     def _lost(self, view: View, who: Id) -> bool:
         """For good, or for longer than a copy is waited for."""
         dead = view.dead_for
         return not self._present(who) or (
-            who not in view.alive and dead.get(who, dead.get(name_of(who) + "/", 0.0)) >= view.timings.repair_after_ms)
+            who not in view.alive
+            and dead.get(who, dead.get(name_of(who) + "/", 0.0)) >= view.timings.repair_after_ms
+        )
 
     def _acts(self, view: View, held: Held) -> bool:
-        """Whether the group has a living majority: otherwise it can take nobody in, and must not block others."""
-        return sum(self._present(who) and who in view.alive
-                   for who in held.voters) >= Config(held.voters).majority()
+        """Whether the group has a living majority: otherwise it can take nobody in, and must not block
+        others."""
+        return (
+            sum(self._present(who) and who in view.alive for who in held.voters)
+            >= Config(held.voters).majority()
+        )
 
     def _forgo(self, view: View) -> list[Command]:
         found: list[Command] = []
@@ -382,14 +459,23 @@
             held = self.groups[group]
             if move.new and move.new not in held.voters and self._lost(view, move.new):
                 why = "the newcomer is lost"
-            elif move.new and move.new not in held.voters and self._long(view, self._since.get((group, move.new))):
+            elif (
+                move.new
+                and move.new not in held.voters
+                and self._long(view, self._since.get((group, move.new)))
+            ):
                 why = SLOW
-            elif not self._acts(view, held) and sum(self._lost(view, who) for who in held.voters) > len(
-                    held.voters) - Config(held.voters).majority():
+            elif (
+                not self._acts(view, held)
+                and sum(self._lost(view, who) for who in held.voters)
+                > len(held.voters) - Config(held.voters).majority()
+            ):
                 why = "the group has lost its majority"
             else:
                 continue
-            found.append(Forgo(id=f"forgo:{group}:{move.new}:{self.begun}", group=group, new=move.new, why=why))
+            found.append(
+                Forgo(id=f"forgo:{group}:{move.new}:{self.begun}", group=group, new=move.new, why=why)
+            )
         return found
 
     @staticmethod
@@ -405,9 +491,13 @@
         return load
 
     def _candidates(self, view: View, held: Held) -> list[tuple[Id, str]]:
-        return [(who, hall) for who, hall in self.members.values()
-                if who in view.alive and who not in held.voters
-                and (who not in self.slow or self._long(view, self._slow_since.get((who, self.slow[who]))))]
+        return [
+            (who, hall)
+            for who, hall in self.members.values()
+            if who in view.alive
+            and who not in held.voters
+            and (who not in self.slow or self._long(view, self._slow_since.get((who, self.slow[who]))))
+        ]
 
     def _repairs(self, view: View, room: int) -> list[Command]:
         """Copies to make again, the group with the fewest living first, then the fleet's own."""
@@ -422,15 +512,20 @@
                 gone = lost[0] if lost else max(held.voters, key=lambda who: (load[who], who))
                 broken.append((living, group != FLEET, group, gone, False))
             elif lost or len(held.voters) < want:
-                broken.append((living, group != FLEET, group, lost[0] if len(held.voters) == want else "", True))
+                broken.append(
+                    (living, group != FLEET, group, lost[0] if len(held.voters) == want else "", True)
+                )
         made: list[Command] = []
         for _, _, group, gone, needs in sorted(broken):
             held = self.groups[group]
             new = ""
             if needs:
                 halls = {self.members[name_of(who)][1] for who in held.voters if not self._lost(view, who)}
-                found = min(self._candidates(view, held), default=None,
-                            key=lambda one: (one[1] in halls, load[one[0]], -_score(group, one[0])))
+                found = min(
+                    self._candidates(view, held),
+                    default=None,
+                    key=lambda one: (one[1] in halls, load[one[0]], -_score(group, one[0])),
+                )
                 if found is None:
                     continue  # until somebody comes
                 new = found[0]
@@ -441,7 +536,8 @@
         return made
 
     def _evened(self, view: View) -> tuple[str, Id, Id] | None:
-        """One move that serves a hall more or evens the load; each lowers a bounded sum, so that it comes to an end."""
+        """One move that serves a hall more or evens the load; each lowers a bounded sum, so that it comes
+        to an end."""
         load = self._loads()
         best: tuple[tuple[int, int], str, Id, Id] | None = None
         for group in sorted(self.groups):
@@ -461,14 +557,16 @@
 
 
 def forced(saved: Saved, group: str, survivor: Id, lost: tuple[Id, ...], now: float) -> Saved:
-    """A group that lost its majority for good, restarted by the operators from one copy's log as its sole voter.
+    """A group that lost its majority for good, restarted by the operators from one copy's log as its sole
+    voter.
 
-    `lost` has to name all the other voters that stand in this log, which makes the act safe to repeat: once it is
-    done, or where it is meant for another state, `saved` comes back as it is.  `now` (Unix ms) is written into the
-    log with it.  Raises ValueError for a log that does not hang together.
+    `lost` has to name all the other voters that stand in this log, which makes the act safe to repeat: once
+    it is done, or where it is meant for another state, `saved` comes back as it is.  `now` (Unix ms) is
+    written into the log with it.  Raises ValueError for a log that does not hang together.
 
-    What may be lost: whatever was acknowledged by the others without this one.  What may come: calls whose outcome was
-    unknown, at the end of this log, are taken.  Those given up must never start again with their old folders.
+    What may be lost: whatever was acknowledged by the others without this one.  What may come: calls whose
+    outcome was unknown, at the end of this log, are taken.  Those given up must never start again with their
+    old folders.
     """
     log = Log.load(saved)
     config = log.config
@@ -479,6 +577,8 @@
     for who in lost:  # one at a time, as every change of members
         voters = tuple(one for one in voters if one != who)
         made.append(Entry(log.base + len(made) + 1, term, CONFIG, encode_config(Config(voters))))
-    note = msgspec.msgpack.encode({"forced": group, "survivor": survivor, "lost": lost, "at_ms": math.floor(now)})
+    note = msgspec.msgpack.encode(
+        {"forced": group, "survivor": survivor, "lost": lost, "at_ms": math.floor(now)}
+    )
     made.append(Entry(log.base + len(made) + 1, term, NOTHING, note))
     return Saved(term, survivor, saved.snapshot, tuple(made))
--- a/fleet/invariants.py
+++ b/fleet/invariants.py
@@ -1,7 +1,7 @@
 """Rules that the code itself has to keep, each named and stated once, checked where state changes.
 
-In tests and the laboratory a broken one raises `Broken` with the facts.  In service it is noted: the part it concerns
-stops promising and says so, and requests go on.
+In tests and the laboratory a broken one raises `Broken` with the facts.  In service it is noted: the part it
+concerns stops promising and says so, and requests go on.
 """
 
 from __future__ import annotations
--- a/fleet/log.py
+++ b/fleet/log.py
@@ -1,7 +1,8 @@
 """A group's log in memory: entries behind a base, and the configurations that stand in it.
 
-What lies at or before `base` has been put into a snapshot and dropped.  A config entry counts from where it is appended
-(dissertation, 4.1), so the log knows at each index which one holds, and a cut takes a config entry back with it.
+What lies at or before `base` has been put into a snapshot and dropped.  A config entry counts from where it
+is appended (dissertation, 4.1), so the log knows at each index which one holds, and a cut takes a config
+entry back with it.
 """
 
 from __future__ import annotations
@@ -27,10 +28,11 @@
 
     @classmethod
     def load(cls, saved: Saved) -> Log:
-        """From a store; ValueError where the entries do not go on from the snapshot, or are newer than the term.
+        """From a store; ValueError where the entries do not go on from the snapshot, or are newer than the
+        term.
 
-        Entries of an older term than the snapshot's were overtaken by it (it came from a leader that never had them)
-        and are dropped, should a store have kept them; the next append writes over them.
+        Entries of an older term than the snapshot's were overtaken by it (it came from a leader that never
+        had them) and are dropped, should a store have kept them; the next append writes over them.
         """
         snapshot, entries = saved.snapshot, saved.entries
         if snapshot is None:
@@ -41,7 +43,9 @@
             entries = ()
         for at, entry in enumerate(entries, snapshot.index + 1):
             if entry.index != at or entry.term > saved.term:
-                raise ValueError(f"entry {at}: found index {entry.index} of term {entry.term} in term {saved.term}")
+                raise ValueError(
+                    f"entry {at}: found index {entry.index} of term {entry.term} in term {saved.term}"
+                )
         return cls(snapshot.index, snapshot.term, snapshot.config, entries)
 
     @property
@@ -75,9 +79,10 @@
         return self._entries[index - self.base - 1]
 
     def some(self, index: int, most: int, most_bytes: int) -> tuple[Entry, ...]:
-        """Entries from an index on: at most so many and so long in all, but one at the least where there is one."""
+        """Entries from an index on: at most so many and so long in all, but one at the least where there
+        is one."""
         at = index - self.base - 1
-        found = self._entries[at:at + most]
+        found = self._entries[at : at + most]
         size = 0
         for count, entry in enumerate(found):
             size += len(entry.body)
@@ -100,13 +105,13 @@
 
     def cut(self, index: int) -> None:
         """Drop what lies at or behind an index."""
-        del self._entries[index - self.base - 1:]
+        del self._entries[index - self.base - 1 :]
         while self._configs[-1][0] >= index > self.base:
             self._configs.pop()
 
     def compact(self, index: int) -> None:
         """Drop what lies at or before an index."""
         config, term = self.config_at(index), self.term_at(index)
-        del self._entries[:index - self.base]
+        del self._entries[: index - self.base]
         self.base, self.base_term = index, term
         self._configs = [(index, config)] + [held for held in self._configs if held[0] > index]
--- a/fleet/membership.py
+++ b/fleet/membership.py
@@ -1,9 +1,11 @@
-"""Who of the fleet lives, as one member believes it: SWIM with Lifeguard's local health.  An opinion, never a decision.
+"""Who of the fleet lives, as one member believes it: SWIM with Lifeguard's local health.  An opinion, never a
+decision.
 
-Sources: Das, Gupta and Motivala, "SWIM: Scalable Weakly-consistent Infection-style Process Group Membership Protocol"
-(DSN 2002): one probe a period in a shuffled round, indirect probes, suspicion with counts, rumours carried by probes.
-Dadgar, Phillips and Currey, "Lifeguard: Local Health Awareness for More Accurate Failure Detection" (DSN-W 2018): the
-local health multiplier, Nack, suspicion that shortens with independent confirmations, the suspect told first.
+Sources: Das, Gupta and Motivala, "SWIM: Scalable Weakly-consistent Infection-style Process Group Membership
+Protocol" (DSN 2002): one probe a period in a shuffled round, indirect probes, suspicion with counts, rumours
+carried by probes. Dadgar, Phillips and Currey, "Lifeguard: Local Health Awareness for More Accurate Failure
+Detection" (DSN-W 2018): the local health multiplier, Nack, suspicion that shortens with independent
+confirmations, the suspect told first.
 
 Where this differs, and why:
 
@@ -16,9 +18,9 @@
 - A process that was frozen cannot know what its own timers mean: it shifts them by the time that it missed, and begins
   every suspicion anew.
 
-Promise: a member sends, whatever the size of the fleet, one Ping and on average one Ack in a period, and one knock in
-two periods while somebody is dead; a probe that fails costs at most 2 x `PROXIES` messages more at its prober and
-proxies each.  `docs/design/membership.md` has the times in which the dead are found.
+Promise: a member sends, whatever the size of the fleet, one Ping and on average one Ack in a period, and one
+knock in two periods while somebody is dead; a probe that fails costs at most 2 x `PROXIES` messages more at
+its prober and proxies each.  `docs/design/membership.md` has the times in which the dead are found.
 """
 
 from __future__ import annotations
@@ -43,7 +45,9 @@
 LONGEST_SUSPICION = 3.0  # times the least, where nobody else suspects
 MOST_OUT = 64  # probes and relays remembered; the oldest goes
 MOST_GONE = 4  # earlier Ids kept of a name
-LEFT_GRACE = 10.0  # who left in order counts as dead only after so many `repair_after_ms`: a restart is no loss
+LEFT_GRACE = (
+    10.0  # who left in order counts as dead only after so many `repair_after_ms`: a restart is no loss
+)
 PATIENCE = 4.0  # a probe of a slow link waits so many periods at most
 
 
@@ -99,27 +103,35 @@
 
 
 class Membership:
-    """One member's view.  `due`: when the next Tick has to come, by `now`'s clock; a later one counts as a freeze."""
+    """One member's view.  `due`: when the next Tick has to come, by `now`'s clock; a later one counts as a
+    freeze."""
 
-    def __init__(self, me: Id, hall: str, members: Iterable[Member], timings: Timings, draw: Random,
-                 now: float) -> None:
+    def __init__(
+        self, me: Id, hall: str, members: Iterable[Member], timings: Timings, draw: Random, now: float
+    ) -> None:
         self.me, self.hall, self.count, self.health = me, hall, 0, 0
         self._times, self._draw, self._left = timings, draw, False
         self._seq = draw.getrandbits(40)  # so that an answer to an earlier process is none to this one
-        self._peers = {one.name: _Peer(one.name, one.hall, one.name + "/", since=now)
-                       for one in members if one.name != name_of(me)}
+        self._peers = {
+            one.name: _Peer(one.name, one.hall, one.name + "/", since=now)
+            for one in members
+            if one.name != name_of(me)
+        }
         self._order: list[str] = []
         self._probes: dict[int, _Probe] = {}
         self._relays: dict[int, _Relay] = {}
         self._suspects: dict[str, None] = {}
-        self._took = 0.0  # what an answer takes of late, over all: where all links are slow, nobody is dead of it
+        self._took = (
+            0.0  # what an answer takes of late, over all: where all links are slow, nobody is dead of it
+        )
         self._rumours: dict[tuple[str, Id], _Told] = {}  # by name, and by who suspects it
         self._periods = 0
         self._next = now + draw.random() * timings.probe_ms if self._peers else math.inf
         self._told()
         self.due = self._next
 
-    # What is believed ------------------------------------------------------------------------------------------------
+    # What is believed
+    # ------------------------------------------------------------------------------------------------
 
     def alive(self) -> frozenset[Id]:
         """Ids that are alive or merely suspected, this one with them."""
@@ -127,7 +139,8 @@
         return frozenset(found if self._left else [*found, self.me])
 
     def dead_for(self, now: float) -> dict[Id, float]:
-        """For how long (ms) each has been believed dead; a name whose Id was never heard of stands as "name/"."""
+        """For how long (ms) each has been believed dead; a name whose Id was never heard of stands as
+        "name/"."""
         found: dict[Id, float] = {}
         grace = LEFT_GRACE * self._times.repair_after_ms
         for one in self._peers.values():
@@ -159,13 +172,15 @@
         return {name_of(self.me): self.hall, **{one.name: one.hall for one in self._peers.values()}}
 
     def know(self, now: float, ids: Iterable[Id]) -> None:
-        """Ids from the founding record or the log, where a name's is not known yet; nothing is believed anew."""
+        """Ids from the founding record or the log, where a name's is not known yet; nothing is believed
+        anew."""
         for who in ids:
             peer = self._peers.get(name_of(who))
             if peer is not None and not peer.known:
                 peer.id = who
 
-    # What happens ----------------------------------------------------------------------------------------------------
+    # What happens
+    # ----------------------------------------------------------------------------------------------------
 
     def handle(self, now: float, event: Tick | Received) -> list[Send | Say]:
         """Take an event in; gives what has to be sent and said."""
@@ -185,8 +200,10 @@
             return []
         self._left, self.count = True, self.count + 1
         self._told()
-        out: list[Send | Say] = [Send(one.id, Ping(self._new_seq(), one.id, self._gossip(one.name)))
-                                 for one in self._some("", PROXIES)]
+        out: list[Send | Say] = [
+            Send(one.id, Ping(self._new_seq(), one.id, self._gossip(one.name)))
+            for one in self._some("", PROXIES)
+        ]
         self._next = math.inf
         self._probes.clear()
         self._set_due()
@@ -262,11 +279,17 @@
         elif name_of(message.target) in self._peers:
             seq = self._new_seq()
             _bound(self._relays)
-            self._relays[seq] = _Relay(asker, message.seq, message.target, now + 0.8 * self._times.probe_timeout_ms,
-                                       now + PATIENCE * self._times.probe_ms)
+            self._relays[seq] = _Relay(
+                asker,
+                message.seq,
+                message.target,
+                now + 0.8 * self._times.probe_timeout_ms,
+                now + PATIENCE * self._times.probe_ms,
+            )
             out.append(Send(message.target, Ping(seq, message.target, self._gossip(name_of(message.target)))))
 
-    # Rumours ---------------------------------------------------------------------------------------------------------
+    # Rumours
+    # ---------------------------------------------------------------------------------------------------------
 
     def _hear(self, now: float, rumour: Rumour, out: list[Send | Say]) -> None:
         name = name_of(rumour.who)
@@ -325,8 +348,13 @@
             del self._rumours[key]
         self._tell(rumour)
         if before != state and {before, state} != {ALIVE, SUSPECT}:
-            out.append(Say("warning" if state == DEAD else "info", "fleet_member",
-                           {"who": peer.id, "state": STATES[state], "was": STATES[before], "by": rumour.by}))
+            out.append(
+                Say(
+                    "warning" if state == DEAD else "info",
+                    "fleet_member",
+                    {"who": peer.id, "state": STATES[state], "was": STATES[before], "by": rumour.by},
+                )
+            )
 
     def _supersede(self, now: float, peer: _Peer, who: Id, out: list[Send | Say]) -> bool:
         """Another Id of a known name; False where it is one that is over."""
@@ -350,7 +378,8 @@
             self._rumours[name_of(rumour.who), rumour.by if rumour.state == SUSPECT else ""] = _Told(rumour)
 
     def _gossip(self, to: str) -> tuple[Rumour, ...]:
-        """What goes with a message: what the receiver is believed to be, if not alive; then the least told."""
+        """What goes with a message: what the receiver is believed to be, if not alive; then the least
+        told."""
         first: list[Rumour] = []
         peer = self._peers.get(to)
         if peer is not None and peer.state != ALIVE and peer.known:
@@ -363,7 +392,8 @@
                 del self._rumours[key]
         return (*first, *(told.rumour for _, told in chosen))
 
-    # Time ------------------------------------------------------------------------------------------------------------
+    # Time
+    # ------------------------------------------------------------------------------------------------------------
 
     def _timers(self, now: float, out: list[Send | Say]) -> None:
         for seq, probe in list(self._probes.items()):
@@ -383,7 +413,9 @@
                 del self._relays[seq]
             elif now >= relay.nack_at:
                 relay.nack_at = math.inf
-                out.append(Send(relay.asker, Nack(relay.seq, relay.target, self._gossip(name_of(relay.asker)))))
+                out.append(
+                    Send(relay.asker, Nack(relay.seq, relay.target, self._gossip(name_of(relay.asker))))
+                )
         for name in list(self._suspects):
             peer = self._peers[name]
             if now >= self._ends(peer):
@@ -405,7 +437,8 @@
             self._tell(rumour)
 
     def _ends(self, peer: _Peer) -> float:
-        """When a suspect is dead: Lifeguard's time-out, from LONGEST_SUSPICION times the least down to the least."""
+        """When a suspect is dead: Lifeguard's time-out, from LONGEST_SUSPICION times the least down to the
+        least."""
         living = 1 + sum(one.state in (ALIVE, SUSPECT) for one in self._peers.values())
         least = self._times.suspect_periods * self._times.probe_ms * max(1.0, math.log10(living))
         confirm = min(CONFIRM, living - 2)
@@ -415,7 +448,8 @@
         return peer.since + least * (LONGEST_SUSPICION - (LONGEST_SUSPICION - 1.0) * shorter)
 
     def _probe(self, now: float, out: list[Send | Say]) -> None:
-        """One probe of who is not known to be dead, in a shuffled round; every second time a knock at a dead one."""
+        """One probe of who is not known to be dead, in a shuffled round; every second time a knock at a
+        dead one."""
         self._periods += 1
         dead = [one for one in self._peers.values() if one.state in (DEAD, LEFT)]
         if dead and self._periods % 2 == 0:
@@ -435,8 +469,8 @@
         end = max(self._times.probe_ms * stretch, min(3 * took, PATIENCE * self._times.probe_ms))
         _bound(self._probes)
         self._probes[seq] = _Probe(peer.name, now, now + min(wait, end), now + end, over=knock)
-        # Who is taken for dead is knocked at by its name: another Id may live there now; where all that this one knew
-        # were lost in turn, no third is left to tell of it.
+        # Who is taken for dead is knocked at by its name: another Id may live there now; where all that this
+        # one knew were lost in turn, no third is left to tell of it.
         to = peer.name + "/" if knock else peer.id
         out.append(Send(to, Ping(seq, to, self._gossip(peer.name))))
 
@@ -451,9 +485,13 @@
     def _set_due(self) -> None:
         self.due = min(
             self._next,
-            min((min(one.ask_at, one.end_at) for one in self._probes.values() if not one.over), default=math.inf),
+            min(
+                (min(one.ask_at, one.end_at) for one in self._probes.values() if not one.over),
+                default=math.inf,
+            ),
             min((min(one.nack_at, one.end_at) for one in self._relays.values()), default=math.inf),
-            min((self._ends(self._peers[name]) for name in self._suspects), default=math.inf))
+            min((self._ends(self._peers[name]) for name in self._suspects), default=math.inf),
+        )
 
 
 def _bound(table: dict[int, _Probe] | dict[int, _Relay]) -> None:
--- a/fleet/messages.py
+++ b/fleet/messages.py
@@ -1,7 +1,7 @@
 """What gateways tell each other, as values: one message is one msgspec Struct, tagged by its name.
 
-A member is named in the operators' file; a member *as it is now* is its `Id`, "name/incarnation": the incarnation is
-drawn anew whenever its store is.  Votes and acknowledgements belong to an Id, never to a name.
+A member is named in the operators' file; a member *as it is now* is its `Id`, "name/incarnation": the
+incarnation is drawn anew whenever its store is.  Votes and acknowledgements belong to an Id, never to a name.
 """
 
 from __future__ import annotations
@@ -52,8 +52,8 @@
 
 
 class Ask(GroupMessage, frozen=True):
-    """For a vote; `pre`: only whether one would be given (pre-vote, nothing is stored by it).  `lead`: the leader has
-    handed over, so that who has heard a leader lately votes all the same."""
+    """For a vote; `pre`: only whether one would be given (pre-vote, nothing is stored by it).  `lead`: the
+    leader has handed over, so that who has heard a leader lately votes all the same."""
 
     last_index: int
     last_term: int
@@ -127,8 +127,8 @@
 
 
 class Ping(Message, frozen=True):
-    """SWIM's probe.  `target`: who is meant (a restarted process answers for nobody else).  `wall`: the sender's clock,
-    Unix ms, 0 where it does not say."""
+    """SWIM's probe.  `target`: who is meant (a restarted process answers for nobody else).  `wall`: the
+    sender's clock, Unix ms, 0 where it does not say."""
 
     seq: int
     target: Id
@@ -146,7 +146,8 @@
 
 
 class PingFor(Message, frozen=True):
-    """Probe `target` for me (SWIM's indirect probe).  A proxy that hears nothing says so with Nack (Lifeguard)."""
+    """Probe `target` for me (SWIM's indirect probe).  A proxy that hears nothing says so with Nack
+    (Lifeguard)."""
 
     seq: int
     target: Id
@@ -162,8 +163,8 @@
 
 
 class Rumour(msgspec.Struct, frozen=True, array_like=True):
-    """What is told of a member: `state` 0 alive, 1 suspected, 2 dead, 3 left; `count` is its own, and grows when it
-    refutes a suspicion; `by` is who suspects it."""
+    """What is told of a member: `state` 0 alive, 1 suspected, 2 dead, 3 left; `count` is its own, and
+    grows when it refutes a suspicion; `by` is who suspects it."""
 
     who: Id
     state: int
@@ -190,8 +191,24 @@
     founding: bytes
 
 
-AnyMessage = (Ask | Vote | Append | Appended | Piece | PieceTaken | Lead | Forward | Reply | Ping | Ack | PingFor | Nack
-              | WhoAreYou | IAm | Found)
+AnyMessage = (
+    Ask
+    | Vote
+    | Append
+    | Appended
+    | Piece
+    | PieceTaken
+    | Lead
+    | Forward
+    | Reply
+    | Ping
+    | Ack
+    | PingFor
+    | Nack
+    | WhoAreYou
+    | IAm
+    | Found
+)
 
 
 class Envelope(msgspec.Struct, frozen=True, array_like=True):
--- a/fleet/node.py
+++ b/fleet/node.py
@@ -1,7 +1,7 @@
 """One gateway's whole share in the fleet: membership, the replicas of its groups, its calls and its leases.
 
-The same object runs in a gateway (`badgeryoke/fleet/service`) and in simulated time (`lab/fleet/world`); both hand it
-events and carry out its effects, and nothing else decides.
+The same object runs in a gateway (`badgeryoke/fleet/service`) and in simulated time (`lab/fleet/world`); both
+hand it events and carry out its effects, and nothing else decides.
 """
 
 from __future__ import annotations
@@ -15,7 +15,16 @@
 import msgspec
 
 from fleet.connections import Limit, bucket
-from fleet.errors import AnyError, BadCall, Crowded, FleetError, InvariantBroken, NoLeader, StoreFailed, UnknownOutcome
+from fleet.errors import (
+    AnyError,
+    BadCall,
+    Crowded,
+    FleetError,
+    InvariantBroken,
+    NoLeader,
+    StoreFailed,
+    UnknownOutcome,
+)
 from fleet.events import (
     Call,
     Done,
@@ -62,14 +71,18 @@
 MOST_CALLS = 4096  # calls of this gateway that have no answer yet; more are refused
 MOST_MET = 8192  # Ids heard by one process; further ones are not counted on
 MOST_HOPS = 3  # of a call on its way to a leader
-TRY_PART = 0.25  # of `call_ms`, after which a call without an answer is made again: its id makes that harmless
+TRY_PART = (
+    0.25  # of `call_ms`, after which a call without an answer is made again: its id makes that harmless
+)
 PAUSE_MS = 40.0  # before a call that found no leader is made again
 LATE_MS = 1000.0  # a voter that has not caught up for so long is reported as behind
 HEARD_MS = 3000.0  # any other member reads it so often, to know whom to ask
 SOON_MS = 50.0  # and again so soon, while something changes
 PLACES_MS = 400.0  # a member that leads a group reads so often who is to copy it, while not all is well
 CALM_MS = 1600.0  # and so often once all was well for
-WELL_MS = 5000.0  # so long (a roll's next gateway has gone by then), or along with another reading there after half
+WELL_MS = (
+    5000.0  # so long (a roll's next gateway has gone by then), or along with another reading there after half
+)
 ANY = "*"  # in Setup.servers: each server that is not named
 POLL_MS = 50.0  # the holders' calls are looked for so often
 
@@ -103,22 +116,36 @@
     `load` may be set by the shell: what the gateway knows of capacity and demand, units a second.
     """
 
-    def __init__(self, setup: Setup, saved: dict[str, Saved], draw: Random, now: float, wall: float,
-                 rules: Invariants, holders: Iterable[Holder] = ()) -> None:
+    def __init__(
+        self,
+        setup: Setup,
+        saved: dict[str, Saved],
+        draw: Random,
+        now: float,
+        wall: float,
+        rules: Invariants,
+        holders: Iterable[Holder] = (),
+    ) -> None:
         self.setup, self.rules, self.me = setup, rules, setup.id
         self._timings, self._draw = setup.timings, draw
         self._saved = dict(saved)
         self._halls = {member.name: member.hall for member in setup.members}
         self.load: dict[str, float] = {"capacity": setup.capacity}
-        self.lead_nothing = False  # set by the shell while a roll takes this gateway: what is led goes to others
+        self.lead_nothing = (
+            False  # set by the shell while a roll takes this gateway: what is led goes to others
+        )
         self.holders = list(holders)
         self.replicas: dict[str, Replica] = {}
         self.states: dict[str, GroupState] = {}
-        self.membership = Membership(self.me, self._halls.get(setup.me, ""), setup.members, setup.timings, draw, now)
+        self.membership = Membership(
+            self.me, self._halls.get(setup.me, ""), setup.members, setup.timings, draw, now
+        )
         self.founding = Founding(setup, self._saved.pop(FOUNDING, Saved()), draw, now)
         self._broken: FleetError | None = None  # why this member promises nothing
         self._calls: dict[str, _Call] = {}
-        self._ours: dict[str, Callable[[float, Any], list[Effect]]] = {}  # proposals of replicas here, by token
+        self._ours: dict[
+            str, Callable[[float, Any], list[Effect]]
+        ] = {}  # proposals of replicas here, by token
         self._routes: dict[str, Id] = {}  # who led a group, as last heard
         self._placed: dict[str, tuple[Id, ...]] = {}  # who copies a group, as last heard
         self._first: dict[str, tuple[Id, ...]] = {}  # as founded
@@ -127,14 +154,18 @@
         self._places = Placing(setup.timings, rules)  # who is to copy what, as last read
         self._reading = False
         self._places_at = self._heard_at = self._unwell_at = self._read_at = now
-        self._lags: dict[tuple[str, Id], float] = {}  # voters of groups led here that have not caught up, since when
+        self._lags: dict[
+            tuple[str, Id], float
+        ] = {}  # voters of groups led here that have not caught up, since when
         self._met: dict[Id, None] = {}  # heard by this process
         self._ahead: dict[str, float] = {}  # others' wall clocks less this one's
         self.ahead = 0.0  # the fleet's time less this machine's, ms
         self._timed = len(self._halls) <= 1  # whether a majority's clocks were heard
         self.limits = {name: most for name, most in setup.servers.items() if name != ANY}
         self._last = 0
-        self._begun = f"{draw.getrandbits(48):012x}"  # tokens of an earlier life are not answered as this one's
+        self._begun = (
+            f"{draw.getrandbits(48):012x}"  # tokens of an earlier life are not answered as this one's
+        )
         self._work_at = self._poll_at = now
         self._rolled = "", 0  # the roll under way, and its changes when this member last looked
         self._leaving: tuple[str, float] | None = None
@@ -165,10 +196,12 @@
                 assert self.founding.record is not None
                 state.parts["placing"].begin(self.founding.record)
             saved = self._saved.pop(group, Saved())
-            # A founder's first placing alone, and before anything was stored: who comes in later waits to be told.
+            # A founder's first placing alone, and before anything was stored: who comes in later waits to be
+            # told.
             first = Config(self._first[group]) if self.me in self._first.get(group, ()) else None
             found = self.replicas[group] = Replica(
-                group, self.me, saved, state, self._timings, self._draw, self.rules, now, first)
+                group, self.me, saved, state, self._timings, self._draw, self.rules, now, first
+            )
         return found
 
     def _feed(self, now: float, group: str, event: ReplicaEvent) -> list[Effect]:
@@ -254,15 +287,20 @@
         if name_of(sender) in self._halls:
             self._ahead[name_of(sender)] = ahead
             middle = sorted([0.0, *self._ahead.values()])
-            self.ahead = middle[(len(middle) - 1) // 2]  # of two the one behind: a group's time goes on, never back
+            self.ahead = middle[
+                (len(middle) - 1) // 2
+            ]  # of two the one behind: a group's time goes on, never back
             self._timed = 2 * len(middle) > len(self._halls)
 
     @staticmethod
     def _gossip(raw: float, effects: Iterable[Send | Say]) -> list[Effect]:
         """What membership sends, with this machine's clock in it."""
-        return [Send(effect.to, msgspec.structs.replace(effect.message, wall=raw))
-                if isinstance(effect, Send) and isinstance(effect.message, Ping | Ack) else effect
-                for effect in effects]
+        return [
+            Send(effect.to, msgspec.structs.replace(effect.message, wall=raw))
+            if isinstance(effect, Send) and isinstance(effect.message, Ping | Ack)
+            else effect
+            for effect in effects
+        ]
 
     def _founded(self, now: float, event: Tick | Received | Stored | StoreBroke) -> list[Effect]:
         known = self.founding.record
@@ -280,7 +318,8 @@
 
     @staticmethod
     def _next(now: float, step: float) -> float:
-        """What comes again and again comes at multiples of its step, as heartbeats do: one waking serves all."""
+        """What comes again and again comes at multiples of its step, as heartbeats do: one waking serves
+        all."""
         return (now // step + 1.0) * step
 
     def _tick(self, now: float, raw: float, wall: float) -> list[Effect]:
@@ -322,21 +361,32 @@
                             effects += self._read_places(now, wall)
         if self._leaving is not None:
             token, until = self._leaving
-            if until <= now or not any(replica.leading and len(replica.config.voters) > 1
-                                       for replica in self.replicas.values()):
+            if until <= now or not any(
+                replica.leading and len(replica.config.voters) > 1 for replica in self.replicas.values()
+            ):
                 self._leaving = None
                 effects.append(Done(token, None))
-        self.due = min([self._work_at, self._poll_at, self.founding.due, self.membership.due,
-                        self._eager(),
-                        *(replica.due for replica in self.replicas.values()),
-                        *(min(call.until, call.again) for call in self._calls.values())])
+        self.due = min(
+            [
+                self._work_at,
+                self._poll_at,
+                self.founding.due,
+                self.membership.due,
+                self._eager(),
+                *(replica.due for replica in self.replicas.values()),
+                *(min(call.until, call.again) for call in self._calls.values()),
+            ]
+        )
         return effects
 
     @staticmethod
-    def _holder_answer(holder: Holder, command: Command) -> Callable[[float, Applied | FleetError], list[Effect]]:
+    def _holder_answer(
+        holder: Holder, command: Command
+    ) -> Callable[[float, Applied | FleetError], list[Effect]]:
         def answer(now: float, result: Applied | FleetError) -> list[Effect]:
             holder.answered(now, command, result)
             return []
+
         return answer
 
     # Calls ------------------------------------------------------------------------------------------------
@@ -345,8 +395,13 @@
         self._last += 1
         return f"{self.me}:{self._begun}:{self._last}"
 
-    def _ask(self, now: float, wall: float, command: Command,
-             answer: Callable[[float, Applied | FleetError], list[Effect]]) -> list[Effect]:
+    def _ask(
+        self,
+        now: float,
+        wall: float,
+        command: Command,
+        answer: Callable[[float, Applied | FleetError], list[Effect]],
+    ) -> list[Effect]:
         """Make a call: it is answered once, within `call_ms`."""
         problem = command.fault()
         if problem:
@@ -368,8 +423,9 @@
         replica = self.replicas.get(call.group)
         if replica is not None and replica.leading:
             number = self._number(call)
-            return self._take(now, wall, call.group, call.command,
-                              lambda at, result: self._end(at, token, number, result))
+            return self._take(
+                now, wall, call.group, call.command, lambda at, result: self._end(at, token, number, result)
+            )
         to = self._leader(call.group, call.round)
         if not to:
             call.again = now + PAUSE_MS
@@ -384,13 +440,19 @@
         return call.tries
 
     def _forward(self, wall: float, token: str, call: _Call, to: Id) -> list[Effect]:
-        return [Send(to, Forward(f"{token}.{self._number(call)}", call.group, encode(wall, call.command), MOST_HOPS))]
+        return [
+            Send(
+                to,
+                Forward(f"{token}.{self._number(call)}", call.group, encode(wall, call.command), MOST_HOPS),
+            )
+        ]
 
     @staticmethod
     def _final(call: _Call, result: Applied | FleetError) -> Applied | FleetError:
         """What the caller is told: that nothing was taken, only where that is known of every try.
 
-        An answer out of the log speaks for all tries that were answered before: what they left in it stands before.
+        An answer out of the log speaks for all tries that were answered before: what they left in it stands
+        before.
         """
         refused = isinstance(result, FleetError) or result.error is not None
         maybe = call.open or (call.maybe and isinstance(result, FleetError))
@@ -399,7 +461,8 @@
         return result
 
     def _leader(self, group: str, round_: int) -> Id:
-        """Whom to ask: the leader as this member's replica knows it, as last heard, else one copy after the other."""
+        """Whom to ask: the leader as this member's replica knows it, as last heard, else one copy after
+        the other."""
         replica = self.replicas.get(group)
         if replica is not None and replica.leader and replica.leader != self.me and round_ % 2 == 1:
             return replica.leader
@@ -418,23 +481,35 @@
             return []  # it had its answer, or its time
         call.open.pop(number, None)
         if isinstance(result, NoLeader | Crowded | UnknownOutcome | StoreFailed | InvariantBroken):
-            # It is made again: its id, or the order that it states, makes a repeat of what was taken harmless, and where
-            # a leader can promise nothing any more there will be another one.
+            # It is made again: its id, or the order that it states, makes a repeat of what was taken
+            # harmless, and where a leader can promise nothing any more there will be another one.
             call.last = result
             call.maybe = call.maybe or isinstance(result, UnknownOutcome)
-            if number == call.tries:  # an earlier one without an answer, at a lost member, keeps nobody waiting
+            if (
+                number == call.tries
+            ):  # an earlier one without an answer, at a lost member, keeps nobody waiting
                 call.again = now + PAUSE_MS * self._draw.uniform(0.5, 1.5)
                 self.due = min(self.due, call.again)
             return []
-        if call.open and (isinstance(result, FleetError) or result.error is not None) and not call.command.reads:
+        if (
+            call.open
+            and (isinstance(result, FleetError) or result.error is not None)
+            and not call.command.reads
+        ):
             call.last = result if isinstance(result, FleetError) else result.error
             call.again = call.until  # another try of it is on its way and may yet be taken: its answer tells
             return []
         del self._calls[token]
         return call.answer(now, self._final(call, result))
 
-    def _take(self, now: float, wall: float, group: str, command: Command,
-              answer: Callable[[float, Applied | FleetError], list[Effect]]) -> list[Effect]:
+    def _take(
+        self,
+        now: float,
+        wall: float,
+        group: str,
+        command: Command,
+        answer: Callable[[float, Applied | FleetError], list[Effect]],
+    ) -> list[Effect]:
         """Let the replica here, which leads, carry a command out."""
         token = self._token()
 
@@ -449,10 +524,12 @@
 
     def _forwarded(self, now: float, wall: float, sender: Id, message: Forward) -> list[Effect]:
         """A call of another member."""
+
         def reply(at: float, result: Applied | FleetError) -> list[Effect]:
             leader = self.replicas[message.group].leader if message.group in self.replicas else ""
             body = msgspec.msgpack.encode(
-                [result, None, leader] if isinstance(result, Applied) else [None, result, leader])
+                [result, None, leader] if isinstance(result, Applied) else [None, result, leader]
+            )
             return [Send(sender, Reply(message.token, body))]
 
         try:
@@ -501,15 +578,29 @@
             parts = self.states[FLEET].parts
             places = parts["placing"]
             load = {**load, "promised": parts["contracts"].promised(wall, wall + parts["rolls"].horizon_ms())}
-        behind = {group: held.behind for group, held in places.groups.items() if held.behind}  # as leaders reported it
+        behind = {
+            group: held.behind for group, held in places.groups.items() if held.behind
+        }  # as leaders reported it
         for group, made in self.replicas.items():
             if made.leading:
                 behind[group] = made.behind() + self._late(now, group, made)
-        return View(now, wall, self.me, replica.lead_since, self._timings, self._living(),
-                    self.membership.dead_for(now), self._halls, load, places.voters() or self._placed, behind)
+        return View(
+            now,
+            wall,
+            self.me,
+            replica.lead_since,
+            self._timings,
+            self._living(),
+            self.membership.dead_for(now),
+            self._halls,
+            load,
+            places.voters() or self._placed,
+            behind,
+        )
 
     def _living(self) -> frozenset[Id]:
-        """Whom this process has heard since its start, and does not believe dead: one just started knows of nobody."""
+        """Whom this process has heard since its start, and does not believe dead: one just started knows
+        of nobody."""
         return frozenset(who for who in self.membership.alive() if who == self.me or who in self._met)
 
     def _work(self, now: float, wall: float, group: str, replica: Replica) -> list[Effect]:
@@ -529,19 +620,28 @@
         """Servers whose limit the group does not know as this gateway does."""
         assert self.founding.record is not None
         known, idle = state.parts["connections"].servers, self.setup.idle_ms
-        return [Limit(id=f"limit/{server}/{most}/{known[server].parts.whole if server in known else 0:g}/{state.index}",
-                      server=server, most=most, idle_ms=idle) for server, most in self.limits.items()
-                if (server not in known or known[server].parts.whole != most)
-                and group_of(bucket(server), self.founding.record.groups) == group]
+        return [
+            Limit(
+                id=f"limit/{server}/{most}/{known[server].parts.whole if server in known else 0:g}/{state.index}",
+                server=server,
+                most=most,
+                idle_ms=idle,
+            )
+            for server, most in self.limits.items()
+            if (server not in known or known[server].parts.whole != most)
+            and group_of(bucket(server), self.founding.record.groups) == group
+        ]
 
     def _worked(self, command: Command) -> Callable[[float, Applied | FleetError], list[Effect]]:
         def answer(now: float, result: Applied | FleetError) -> list[Effect]:
             self._working.pop(command.id, None)
             return []
+
         return answer
 
     def _read_places(self, now: float, wall: float) -> list[Effect]:
-        """Hear now and then who copies what; where something is led here, bring its members in line with it."""
+        """Hear now and then who copies what; where something is led here, bring its members in line with
+        it."""
         leads = any(replica.leading for replica in self.replicas.values())
         if self._reading or not (leads or self._heard_at <= now):
             return []
@@ -567,19 +667,27 @@
         return self._ask(now, wall, Places(id=self._token()), read)
 
     def _well(self) -> bool:
-        """Whether all known members live, nothing moves, and nobody is behind: as last read, and in groups led here."""
-        return (not self._places.moves and len(self.membership.alive()) >= len(self._places.members)
-                and not any(held.behind for held in self._places.groups.values())
-                and not any(replica.leading and (replica.config.learners or replica.lagging())
-                            for replica in self.replicas.values()))
+        """Whether all known members live, nothing moves, and nobody is behind: as last read, and in groups
+        led here."""
+        return (
+            not self._places.moves
+            and len(self.membership.alive()) >= len(self._places.members)
+            and not any(held.behind for held in self._places.groups.values())
+            and not any(
+                replica.leading and (replica.config.learners or replica.lagging())
+                for replica in self.replicas.values()
+            )
+        )
 
     def _late(self, now: float, group: str, replica: Replica) -> tuple[Id, ...]:
-        """Voters that have long not caught up: not each lag is an entry in the fleet's log.  A leader that has only just
-        begun knows of none how long; it counts those of whom it has not heard yet."""
+        """Voters that have long not caught up: not each lag is an entry in the fleet's log.  A leader that
+        has only just begun knows of none how long; it counts those of whom it has not heard yet."""
         lagging = replica.lagging()
         self._lags = {key: since for key, since in self._lags.items() if key[0] != group or key[1] in lagging}
         fresh = now - replica.lead_since < LATE_MS
-        return tuple(who for who in lagging if now - self._lags.setdefault((group, who), now) >= LATE_MS or fresh)
+        return tuple(
+            who for who in lagging if now - self._lags.setdefault((group, who), now) >= LATE_MS or fresh
+        )
 
     def _members(self, now: float, wall: float, group: str, replica: Replica) -> list[Effect]:
         """One step of a change of members, or the report of how they stand."""
@@ -588,7 +696,9 @@
         behind = replica.behind()
         step = self._places.wanted(group, replica.config, behind, self.membership.alive())
         if step is None:
-            report = self._places.report(group, replica.config, replica.config_index, self._late(now, group, replica))
+            report = self._places.report(
+                group, replica.config, replica.config_index, self._late(now, group, replica)
+            )
             if report is None or report.id in self._working:
                 return []
             self._working[report.id] = None
@@ -612,11 +722,20 @@
     def status(self) -> dict[str, Any]:
         """Members as believed, groups with leader, copies and what is behind; whether this one promises."""
         return {
-            "me": self.me, "founded": self.founding.record is not None,
+            "me": self.me,
+            "founded": self.founding.record is not None,
             "promises": "yes" if self._broken is None else str(self._broken),
             "members": {name: self.membership.state_of(name) for name in self._halls},
-            "groups": {group: {"leader": replica.leader, "term": replica.term, "commit": replica.commit,
-                               "voters": list(replica.config.voters), "learners": list(replica.config.learners),
-                               "behind": list(replica.behind()) if replica.leading else None}
-                       for group, replica in self.replicas.items()},
-            "invariants_broken": [f"{rule.name}: {facts}" for rule, facts in self.rules.broken]}
+            "groups": {
+                group: {
+                    "leader": replica.leader,
+                    "term": replica.term,
+                    "commit": replica.commit,
+                    "voters": list(replica.config.voters),
+                    "learners": list(replica.config.learners),
+                    "behind": list(replica.behind()) if replica.leading else None,
+                }
+                for group, replica in self.replicas.items()
+            },
+            "invariants_broken": [f"{rule.name}: {facts}" for rule, facts in self.rules.broken],
+        }
--- a/fleet/owed.py
+++ b/fleet/owed.py
@@ -1,11 +1,13 @@
 """Units that a gateway owes the quota counter, in batches that outlive it.
 
-A gateway that cannot reach the counter hands what it owes to the group, so that whoever is left can report it.  A batch
-is reported by one at a time: it is claimed through the log before the counter is called, and marked as told after.
-
-Which way an unknown answer errs: a batch whose reporter called the counter and heard nothing, or died behind its claim,
-is *not* told again.  Its units may be missing at the counter, never there twice: a customer may then be let through
-for one batch more, and is never refused for what it did not use.  The hard ceiling does not go by these reports.
+A gateway that cannot reach the counter hands what it owes to the group, so that whoever is left can report
+it.  A batch is reported by one at a time: it is claimed through the log before the counter is called, and
+marked as told after.
+
+Which way an unknown answer errs: a batch whose reporter called the counter and heard nothing, or died behind
+its claim, is *not* told again.  Its units may be missing at the counter, never there twice: a customer may
+then be let through for one batch more, and is never refused for what it did not use.  The hard ceiling does
+not go by these reports.
 """
 
 from __future__ import annotations
@@ -18,8 +20,12 @@
 from fleet.messages import Id
 from fleet.part import Applied, Command, View
 
-MOST_BYTES = 24 * 1024 * 1024  # of the batches in one group that are not told yet, a part of what a snapshot takes; more
-LEAST_BYTES = 24 * 1024  # are refused, and stay with their gateway.  A batch counts for so much: 1024 at the most
+MOST_BYTES = (
+    24 * 1024 * 1024
+)  # of the batches in one group that are not told yet, a part of what a snapshot takes; more
+LEAST_BYTES = (
+    24 * 1024
+)  # are refused, and stay with their gateway.  A batch counts for so much: 1024 at the most
 MOST_LINES = 256
 LATE_MS = 60_000.0  # the counter forgets a name after so long: a batch older than this is of no use
 
@@ -45,8 +51,14 @@
     def fault(self) -> str:
         if not 0 < len(self.lines) <= MOST_LINES:
             return f"lines: expected 1 to {MOST_LINES}"
-        return next((f"lines: {line.name!r}: amount or life is out of bounds" for line in self.lines
-                     if not (0 < len(line.name) <= 64 and abs(line.units) <= 1e9 and line.expire_ms >= 1)), "")
+        return next(
+            (
+                f"lines: {line.name!r}: amount or life is out of bounds"
+                for line in self.lines
+                if not (0 < len(line.name) <= 64 and abs(line.units) <= 1e9 and line.expire_ms >= 1)
+            ),
+            "",
+        )
 
 
 class Claim(Command, frozen=True, kw_only=True):
@@ -94,7 +106,9 @@
     """The part of a group's state that holds the batches."""
 
     def __init__(self) -> None:
-        self._batches: dict[str, tuple[float, str, Id, tuple[Line, ...], Id]] = {}  # since, tenant, by, lines, claimer
+        self._batches: dict[
+            str, tuple[float, str, Id, tuple[Line, ...], Id]
+        ] = {}  # since, tenant, by, lines, claimer
         self._held = 0  # bytes
         self.unknown = 0.0  # units of which nobody knows whether the counter has them
 
@@ -110,7 +124,9 @@
                     return Applied(True)  # its answer was forgotten, the batch was not: a claim of it goes on
                 more = _bytes(command.tenant, command.lines)
                 if self._held + more > MOST_BYTES:
-                    return Applied(error=Crowded(command.id, f"{MOST_BYTES} bytes of batches wait at the most"))
+                    return Applied(
+                        error=Crowded(command.id, f"{MOST_BYTES} bytes of batches wait at the most")
+                    )
                 self._held += more
                 self._batches[command.id] = at_ms, command.tenant, command.by, command.lines, ""
                 return Applied(True)
@@ -138,25 +154,43 @@
 
     def look(self, command: OwedRead) -> Applied:
         """Read what waits."""
-        return Applied([name for name, batch in self._batches.items() if not batch[4] and batch[1] == command.tenant])
+        return Applied(
+            [name for name, batch in self._batches.items() if not batch[4] and batch[1] == command.tenant]
+        )
 
     def work(self, view: View) -> list[Command]:
         """A claimer that is dead for good: its batch is closed as unknown."""
-        return [OwedTold(id=f"owed/{name}/lost", tenant=batch[1], batch=name, by=batch[4], known=False)
-                for name, batch in self._batches.items()
-                if batch[4] and view.dead_for.get(batch[4], 0.0) >= view.timings.repair_after_ms]
+        return [
+            OwedTold(id=f"owed/{name}/lost", tenant=batch[1], batch=name, by=batch[4], known=False)
+            for name, batch in self._batches.items()
+            if batch[4] and view.dead_for.get(batch[4], 0.0) >= view.timings.repair_after_ms
+        ]
 
     def seen(self, now: float) -> None:
         """Nothing in here ends by this machine's clock."""
 
     def dump(self) -> Any:
         """Plain data."""
-        return [self.unknown, [[name, since, tenant, by, [[line.name, line.units, line.expire_ms] for line in lines],
-                                claimer] for name, (since, tenant, by, lines, claimer) in self._batches.items()]]
+        return [
+            self.unknown,
+            [
+                [
+                    name,
+                    since,
+                    tenant,
+                    by,
+                    [[line.name, line.units, line.expire_ms] for line in lines],
+                    claimer,
+                ]
+                for name, (since, tenant, by, lines, claimer) in self._batches.items()
+            ],
+        ]
 
     def load(self, raw: Any) -> None:
         """From `dump`."""
         self.unknown, batches = raw
-        self._batches = {name: (since, tenant, by, tuple(Line(*line) for line in lines), claimer)
-                         for name, since, tenant, by, lines, claimer in batches}
+        self._batches = {
+            name: (since, tenant, by, tuple(Line(*line) for line in lines), claimer)
+            for name, since, tenant, by, lines, claimer in batches
+        }
         self._held = sum(_bytes(tenant, lines) for _, tenant, _, lines, _ in self._batches.values())
--- a/fleet/part.py
+++ b/fleet/part.py
@@ -1,7 +1,8 @@
 """A part of what a group's log is applied to, and the work that the group's leader does for it.
 
-Applying is the same at every copy: it knows no clock but `at_ms` (the group's own, Unix ms, which never goes back) and
-no chance.  What depends on a machine's own clock (that a lease is over) is proposed as a command by the leader.
+Applying is the same at every copy: it knows no clock but `at_ms` (the group's own, Unix ms, which never goes
+back) and no chance.  What depends on a machine's own clock (that a lease is over) is proposed as a command by
+the leader.
 """
 
 from __future__ import annotations
@@ -21,8 +22,12 @@
 class Command(msgspec.Struct, frozen=True, tag=True, kw_only=True):
     """One entry's content.  The same `id` again is answered as the first time and changes nothing."""
 
-    reads: ClassVar[bool] = False  # changes nothing: answered by `Part.look` once the leader knows that it leads
-    once: ClassVar[bool] = True  # its id and answer are kept; not for those that state their own order (leases)
+    reads: ClassVar[bool] = (
+        False  # changes nothing: answered by `Part.look` once the leader knows that it leads
+    )
+    once: ClassVar[bool] = (
+        True  # its id and answer are kept; not for those that state their own order (leases)
+    )
 
     id: str
 
@@ -44,8 +49,8 @@
 
 @dataclass(frozen=True, slots=True)
 class View:
-    """What the leader's work may look at, beside the state.  `lead_since`: `now` when this one began to lead and had
-    applied all before."""
+    """What the leader's work may look at, beside the state.  `lead_since`: `now` when this one began to
+    lead and had applied all before."""
 
     now: float  # monotonic here, ms
     wall: float  # Unix ms
--- a/fleet/promises.py
+++ b/fleet/promises.py
@@ -1,5 +1,5 @@
-"""Small promises: a name and a value, kept by the fleet.  What an operator notes for later lies here; the laboratory
-counts with them what a loss costs."""
+"""Small promises: a name and a value, kept by the fleet.  What an operator notes for later lies here; the
+laboratory counts with them what a loss costs."""
 
 from __future__ import annotations
 
@@ -8,7 +8,9 @@
 from fleet.errors import Crowded
 from fleet.part import Applied, Command, View
 
-MOST_BYTES = 16 * 1024 * 1024  # of all names and values in one group, a part of what a snapshot takes; more are refused
+MOST_BYTES = (
+    16 * 1024 * 1024
+)  # of all names and values in one group, a part of what a snapshot takes; more are refused
 LEAST_BYTES = 2048  # what a name and its value count for at the least: 8192 names are kept at the most
 MOST_NAME, MOST_VALUE = 128, 1024
 
@@ -58,7 +60,9 @@
         before = self._kept.get(command.name)
         more = _bytes(command.name, command.value) - (0 if before is None else _bytes(command.name, before))
         if more > 0 and self._held + more > MOST_BYTES:
-            return Applied(error=Crowded(command.name, f"{MOST_BYTES} bytes are kept in this group at the most"))
+            return Applied(
+                error=Crowded(command.name, f"{MOST_BYTES} bytes are kept in this group at the most")
+            )
         self._kept[command.name] = command.value
         self._held += more
         return Applied(before)
--- a/fleet/replica.py
+++ b/fleet/replica.py
@@ -1,23 +1,24 @@
 """One copy of a group's log, and the machine that the log is applied to: Raft as published, without any I/O.
 
-Sources: Ongaro and Ousterhout, "In Search of an Understandable Consensus Algorithm (Extended Version)", 2014, and
-Ongaro's dissertation, 2014: pre-vote and check-quorum (9.6, 6.2), stickiness to a leader that is heard (4.2.3),
-hand-over (3.10), one change of members at a time with learners first (4.1, 4.2.1), read index (6.4), pipelining and
-writing to the leader's disk in parallel (10.2).  `docs/design/replication.md` says what is promised, and which options
-lost.
-
-The promise: what `Done` gives for a proposal is on stable storage of a majority and stays applied at that place; a read
-that is done has seen all that was acknowledged before it began.  An outcome that is not known is `UnknownOutcome`.
-
-Stable storage.  `Store` effects go out in order and several may be open.  A vote, a candidate's asking and a good answer
-to the leader wait here until the records they rest on are stored; the leader sends entries at once, and counts itself
-when they are stored.  After `StoreBroke` this copy answers nothing more, ever.
-
-Who is answered.  Votes are counted only from Ids that are voters in the candidate's own configuration, so an earlier
-incarnation's never are.  But a voter answers any asker that is a member here, *and* one it does not know whose log is
-strictly newer than its own: that one may be a member by an entry that is missing here, and a group could otherwise stay
-without a leader for good.  An unknown asker with no newer log is not answered and moves no term here.  Removed members
-disturb nobody, as they get no pre-vote while a leader is heard.
+Sources: Ongaro and Ousterhout, "In Search of an Understandable Consensus Algorithm (Extended Version)", 2014,
+and Ongaro's dissertation, 2014: pre-vote and check-quorum (9.6, 6.2), stickiness to a leader that is heard
+(4.2.3), hand-over (3.10), one change of members at a time with learners first (4.1, 4.2.1), read index (6.4),
+pipelining and writing to the leader's disk in parallel (10.2).  `docs/design/replication.md` says what is
+promised, and which options lost.
+
+The promise: what `Done` gives for a proposal is on stable storage of a majority and stays applied at that
+place; a read that is done has seen all that was acknowledged before it began.  An outcome that is not known
+is `UnknownOutcome`.
+
+Stable storage.  `Store` effects go out in order and several may be open.  A vote, a candidate's asking and a
+good answer to the leader wait here until the records they rest on are stored; the leader sends entries at
+once, and counts itself when they are stored.  After `StoreBroke` this copy answers nothing more, ever.
+
+Who is answered.  Votes are counted only from Ids that are voters in the candidate's own configuration, so an
+earlier incarnation's never are.  But a voter answers any asker that is a member here, *and* one it does not
+know whose log is strictly newer than its own: that one may be a member by an entry that is missing here, and
+a group could otherwise stay without a leader for good.  An unknown asker with no newer log is not answered
+and moves no term here.  Removed members disturb nobody, as they get no pre-vote while a leader is heard.
 """
 
 from __future__ import annotations
@@ -152,8 +153,18 @@
 class Replica:
     """One copy.  `due`: when the next Tick has to come at the latest (ms, inf for never)."""
 
-    def __init__(self, group: str, me: Id, saved: Saved, machine: Machine, timings: Timings, draw: random.Random,
-                 rules: Invariants, now: float, config: Config | None = None) -> None:
+    def __init__(
+        self,
+        group: str,
+        me: Id,
+        saved: Saved,
+        machine: Machine,
+        timings: Timings,
+        draw: random.Random,
+        rules: Invariants,
+        now: float,
+        config: Config | None = None,
+    ) -> None:
         """`config` counts only where `saved` is empty; ValueError where `saved` does not hold together."""
         self.group, self.me, self._machine, self._timings = group, me, machine, timings
         self._draw, self._rules = draw, rules
@@ -204,7 +215,8 @@
         self.due = math.inf
         self._set_due()
 
-    # What others may look at ------------------------------------------------------------------------------------------
+    # What others may look at
+    # ------------------------------------------------------------------------------------------
 
     @property
     def config(self) -> Config:
@@ -228,10 +240,15 @@
 
     @property
     def removed(self) -> bool:
-        """Whether a committed configuration has let this member go, after one that had it (known since the start)."""
+        """Whether a committed configuration has let this member go, after one that had it (known since the
+        start)."""
         config = self._log.config_at(self.commit)
-        return (self._member and config is not None
-                and self.me not in config.voters and self.me not in config.learners)
+        return (
+            self._member
+            and config is not None
+            and self.me not in config.voters
+            and self.me not in config.learners
+        )
 
     def behind(self) -> tuple[Id, ...]:
         """Learners that have not caught up, by the leader."""
@@ -239,20 +256,39 @@
 
     def lagging(self) -> tuple[Id, ...]:
         """Voters that have not caught up, by the leader; each is that for a moment now and then."""
-        return tuple(who for who in self.config.voters
-                     if who != self.me and not self._caught_up(who)) if self.leading else ()
+        return (
+            tuple(who for who in self.config.voters if who != self.me and not self._caught_up(who))
+            if self.leading
+            else ()
+        )
 
     def status(self, now: float) -> dict[str, Any]:
         """For operators."""
-        return {"group": self.group, "role": self.role.name.lower(), "term": self.term, "leader": self.leader,
-                "voters": list(self.config.voters), "learners": list(self.config.learners), "last": self.last,
-                "commit": self.commit, "applied": self.applied, "stored": self._safe_index,
-                "in_flight": len(self._pending), "stopped": None if self.stopped is None else str(self.stopped),
-                "members": {who: {"match": peer.match, "heard_ms": now - peer.heard,
-                                  "snapshot_bytes": peer.held if peer.snapshot is not None else None}
-                            for who, peer in self._peers.items()}}
-
-    # Events -----------------------------------------------------------------------------------------------------------
+        return {
+            "group": self.group,
+            "role": self.role.name.lower(),
+            "term": self.term,
+            "leader": self.leader,
+            "voters": list(self.config.voters),
+            "learners": list(self.config.learners),
+            "last": self.last,
+            "commit": self.commit,
+            "applied": self.applied,
+            "stored": self._safe_index,
+            "in_flight": len(self._pending),
+            "stopped": None if self.stopped is None else str(self.stopped),
+            "members": {
+                who: {
+                    "match": peer.match,
+                    "heard_ms": now - peer.heard,
+                    "snapshot_bytes": peer.held if peer.snapshot is not None else None,
+                }
+                for who, peer in self._peers.items()
+            },
+        }
+
+    # Events
+    # -----------------------------------------------------------------------------------------------------------
 
     def handle(self, now: float, event: ReplicaEvent) -> list[Effect]:
         """Take an event in; gives what has to be done, in order."""
@@ -262,7 +298,8 @@
             if isinstance(event, Propose | Read | Change):
                 out.append(Done(event.token, self.stopped))
             return out
-        # First: a process that stood still must not go on as the leader, nor count what waited for it as just said.
+        # First: a process that stood still must not go on as the leader, nor count what waited for it as just
+        # said.
         if self.role is Role.LEADER and now > self._quorum_until and not self._has_quorum(now):
             self._say("warning", "majority-not-heard")
             self._follow(now, self.term)
@@ -282,7 +319,9 @@
             case HandOver(to):
                 self._hand_over(now, to)
             case StoreBroke(error):
-                self._stop(now, error)  # a broken rule as well, and told as one: at the disk there is nothing to see to
+                self._stop(
+                    now, error
+                )  # a broken rule as well, and told as one: at the disk there is nothing to see to
         self._flush()
         self._set_due()
         return out
@@ -328,12 +367,16 @@
         elif now >= self._deadline and self.me in self.config.voters:
             self._stand(now)
 
-    # Terms and votes --------------------------------------------------------------------------------------------------
+    # Terms and votes
+    # --------------------------------------------------------------------------------------------------
 
     def _harden(self, term: int, vote: Id) -> None:
         """Move to a term and a vote in it."""
-        if not self._rule(Rule.VOTE_ONCE, term > self.term or (term == self.term and self.vote in ("", vote)),
-                          lambda: f"{self.me} voted for {self.vote} in {self.term}, then {vote} in {term}"):
+        if not self._rule(
+            Rule.VOTE_ONCE,
+            term > self.term or (term == self.term and self.vote in ("", vote)),
+            lambda: f"{self.me} voted for {self.vote} in {self.term}, then {vote} in {term}",
+        ):
             return
         self.term, self.vote = term, vote
         if self._records and isinstance(self._records[-1], HardState):
@@ -356,8 +399,9 @@
         self.leader = leader
 
     def _stand(self, now: float) -> None:
-        """Ask whether votes would be given; nothing is stored by it and no term moves.  Asked again soon, as one lost
-        message or one voter that has just heard the leader must not cost a whole election time."""
+        """Ask whether votes would be given; nothing is stored by it and no term moves.  Asked again soon,
+        as one lost message or one voter that has just heard the leader must not cost a whole election
+        time."""
         self.role, self.leader, self._votes = Role.PRE, "", {self.me: None}
         self._deadline = now + self._timings.election_ms * (0.25 + 0.25 * self._draw.random())
         if len(self._votes) >= self.config.majority():
@@ -365,7 +409,10 @@
             return
         for who in self.config.voters:
             if who != self.me:
-                self._tell(who, Ask(self.group, self.term + 1, self._log.last, self._log.term_at(self._log.last), True))
+                self._tell(
+                    who,
+                    Ask(self.group, self.term + 1, self._log.last, self._log.term_at(self._log.last), True),
+                )
 
     def _elect(self, now: float, lead: bool = False) -> None:
         """Stand in a new term.  The own vote counts, and others are asked, once it is stored."""
@@ -425,13 +472,16 @@
         return who in self.config.voters
 
     def _count(self, now: float, who: Id) -> None:
-        if not self._rule(Rule.VOTE_ONCE, who in self.config.voters, lambda: f"{who} is no voter of {self.config}"):
+        if not self._rule(
+            Rule.VOTE_ONCE, who in self.config.voters, lambda: f"{who} is no voter of {self.config}"
+        ):
             return
         self._votes[who] = None
         if len(self._votes) >= self.config.majority():
             self._begin_lead(now)
 
-    # Leading ----------------------------------------------------------------------------------------------------------
+    # Leading
+    # ----------------------------------------------------------------------------------------------------------
 
     def _begin_lead(self, now: float) -> None:
         if not self._see_leader(self.term, self.me):
@@ -455,7 +505,9 @@
     def _end_lead(self) -> None:
         """What was proposed may be committed by the next leader, or not; reads changed nothing."""
         for token in self._pending.values():
-            self._out.append(Done(token, UnknownOutcome(self.group, "the leader changed before it was committed")))
+            self._out.append(
+                Done(token, UnknownOutcome(self.group, "the leader changed before it was committed"))
+            )
         for token in [token for _, token in self._reads] + self._new_reads:
             self._out.append(Done(token, NoLeader(self.group, "the leader changed")))
         self._pending, self._new_reads, self._peers = {}, [], {}
@@ -464,29 +516,41 @@
 
     def _has_quorum(self, now: float) -> bool:
         """Whether a majority was heard within an election time."""
-        heard = sorted((now if who == self.me else self._peers[who].heard for who in self.config.voters), reverse=True)
+        heard = sorted(
+            (now if who == self.me else self._peers[who].heard for who in self.config.voters), reverse=True
+        )
         self._quorum_until = heard[self.config.majority() - 1] + self._timings.election_ms
         return now <= self._quorum_until
 
     def _grid(self, now: float) -> float:
-        """The next multiple of `heartbeat_ms`: all groups led at one machine beat at one moment, and one frame to each
-        peer carries them, as one carries the answers."""
+        """The next multiple of `heartbeat_ms`: all groups led at one machine beat at one moment, and one
+        frame to each peer carries them, as one carries the answers."""
         return (now // self._timings.heartbeat_ms + 1.0) * self._timings.heartbeat_ms
 
     def _quiet(self, now: float) -> bool:
-        """Whether a beat may be left out: all have all, know that it is committed, and have answered the last round.
-
-        Who is silent for an election time counts for nothing here; a lost beat, or a lost answer, is one that was not
-        answered, and the next goes out after `heartbeat_ms`.  No promise rests on when beats go out: check-quorum and
-        stickiness count an election time from what was last heard, a follower's patience at least that, and `QUIET`
-        beats fall within it; a read sends a round of its own at once, and what is proposed goes out at once.
+        """Whether a beat may be left out: all have all, know that it is committed, and have answered the last
+        round.
+
+        Who is silent for an election time counts for nothing here; a lost beat, or a lost answer, is one that
+        was not answered, and the next goes out after `heartbeat_ms`.  No promise rests on when beats go out:
+        check-quorum and stickiness count an election time from what was last heard, a follower's patience at
+        least that, and `QUIET` beats fall within it; a read sends a round of its own at once, and what is
+        proposed goes out at once.
         """
-        if (self._grid(now) - self._beaten > self._timings.election_ms / QUIET or self._handing is not None
-                or self._reads or self._new_reads or not self.leading or self.commit != self._log.last):
+        if (
+            self._grid(now) - self._beaten > self._timings.election_ms / QUIET
+            or self._handing is not None
+            or self._reads
+            or self._new_reads
+            or not self.leading
+            or self.commit != self._log.last
+        ):
             return False
-        return all(now - peer.heard >= self._timings.election_ms
-                   or (peer.round == self._round and peer.match == peer.goal == self.commit)
-                   for peer in self._peers.values())
+        return all(
+            now - peer.heard >= self._timings.election_ms
+            or (peer.round == self._round and peer.match == peer.goal == self.commit)
+            for peer in self._peers.values()
+        )
 
     def _heartbeat(self, now: float) -> None:
         """One round to everybody; reads that wait are answered when a majority has answered it."""
@@ -506,10 +570,14 @@
         log = self._log
         if beat:
             peer.waiting = False
-            if now - peer.heard >= self._timings.election_ms:  # silent: entries or a piece would be for nothing
+            if (
+                now - peer.heard >= self._timings.election_ms
+            ):  # silent: entries or a piece would be for nothing
                 before = max(peer.next - 1, log.base)
-                self._tell(who, Append(self.group, self.term, before, log.term_at(before), (), self.commit,
-                                       self._round))
+                self._tell(
+                    who,
+                    Append(self.group, self.term, before, log.term_at(before), (), self.commit, self._round),
+                )
                 return
         if peer.next <= log.base:
             self._feed_piece(who, peer)
@@ -522,8 +590,10 @@
             if not entries and not beat:
                 return
             before = peer.next - 1
-            self._tell(who, Append(self.group, self.term, before, log.term_at(before), entries, self.commit,
-                                   self._round))
+            self._tell(
+                who,
+                Append(self.group, self.term, before, log.term_at(before), entries, self.commit, self._round),
+            )
             beat = False
             if peer.probing:
                 peer.waiting = True
@@ -540,16 +610,32 @@
         snapshot = peer.snapshot
         assert snapshot is not None  # a leader has a configuration, and so a snapshot
         peer.waiting = True
-        body = snapshot.body[peer.held:peer.held + self._timings.piece_bytes]
-        self._tell(who, Piece(self.group, self.term, snapshot.index, snapshot.term, snapshot.config, peer.held,
-                              len(snapshot.body), body, self._round))
+        body = snapshot.body[peer.held : peer.held + self._timings.piece_bytes]
+        self._tell(
+            who,
+            Piece(
+                self.group,
+                self.term,
+                snapshot.index,
+                snapshot.term,
+                snapshot.config,
+                peer.held,
+                len(snapshot.body),
+                body,
+                self._round,
+            ),
+        )
 
     def _on_appended(self, now: float, who: Id, told: Appended) -> None:
         peer = self._answered(now, who, told.term, told.round)
         if peer is None:
             return
         if told.good and told.index <= self._log.last:
-            peer.match, peer.next, peer.doubted = max(peer.match, told.index), max(peer.next, told.index + 1), None
+            peer.match, peer.next, peer.doubted = (
+                max(peer.match, told.index),
+                max(peer.next, told.index + 1),
+                None,
+            )
             while peer.flight and peer.flight[0] <= peer.match:
                 peer.flight.popleft()
             if peer.snapshot is not None and told.index >= peer.snapshot.index:
@@ -557,7 +643,11 @@
             if peer.snapshot is None:
                 peer.probing = peer.waiting = False
             self._advance(now)
-        elif not told.good and told.index < peer.next and (told.index > peer.match or told.index == 0 == peer.match):
+        elif (
+            not told.good
+            and told.index < peer.next
+            and (told.index > peer.match or told.index == 0 == peer.match)
+        ):
             # 0: a newcomer that knows no configuration takes a snapshot before anything else.
             peer.next, peer.probing, peer.waiting = told.index, True, False
             peer.flight.clear()
@@ -569,9 +659,10 @@
             self._finish_hand_over()
 
     def _doubt(self, who: Id, peer: Peer, told: Appended) -> None:
-        """It refuses below what it acknowledged.  The answer may be late, or to a batch behind one that was lost while
-        it had an old tail: so it goes on behind what it acknowledged.  Who refuses that as well, in a later round,
-        lacks it: its folder was put back from a copy.  It cannot be brought up to date, and nobody else could say so.
+        """It refuses below what it acknowledged.  The answer may be late, or to a batch behind one that
+        was lost while it had an old tail: so it goes on behind what it acknowledged.  Who refuses that as
+        well, in a later round, lacks it: its folder was put back from a copy.  It cannot be brought up to
+        date, and nobody else could say so.
         """
         if peer.doubted is None:
             peer.next, peer.probing, peer.waiting, peer.doubted = peer.match + 1, True, False, self._round
@@ -586,8 +677,12 @@
             return
         snapshot = peer.snapshot
         # The same figure again is an answer come twice: a piece for each would double them for good.
-        if snapshot is not None and snapshot.index == told.index and told.held != peer.held and (
-                0 <= told.held < len(snapshot.body)):
+        if (
+            snapshot is not None
+            and snapshot.index == told.index
+            and told.held != peer.held
+            and (0 <= told.held < len(snapshot.body))
+        ):
             peer.held, peer.waiting = told.held, False
             self._feed_piece(who, peer)
         self._rounds_back(now)
@@ -608,22 +703,29 @@
         return self._log.term_at(index) == self.term
 
     def _advance(self, now: float) -> None:
-        """Commit what a majority has on stable storage (figure 2; an older term's entries only along with one of its
-        own, 5.4.2)."""
+        """Commit what a majority has on stable storage (figure 2; an older term's entries only along with
+        one of its own, 5.4.2)."""
         voters = self.config.voters
-        at = sorted((self._safe_index if who == self.me else self._peers[who].match for who in voters),
-                    reverse=True)[self.config.majority() - 1]
+        at = sorted(
+            (self._safe_index if who == self.me else self._peers[who].match for who in voters), reverse=True
+        )[self.config.majority() - 1]
         if at <= self.commit or not self._may_count(at):
             return
-        if self._rule(Rule.OWN_TERM, self._log.term_at(at) == self.term,
-                      lambda: f"{self.me} counts {at} of term {self._log.term_at(at)} in {self.term}"):
+        if self._rule(
+            Rule.OWN_TERM,
+            self._log.term_at(at) == self.term,
+            lambda: f"{self.me} counts {at} of term {self._log.term_at(at)} in {self.term}",
+        ):
             self._commit_to(now, at)
 
-    # Proposals, reads, changes ----------------------------------------------------------------------------------------
+    # Proposals, reads, changes
+    # ----------------------------------------------------------------------------------------
 
     def _refusal(self, bound: int) -> FleetError | None:
         if self.role is not Role.LEADER:
-            return NoLeader(self.group, f"the leader is {self.leader}" if self.leader else "no leader is known")
+            return NoLeader(
+                self.group, f"the leader is {self.leader}" if self.leader else "no leader is known"
+            )
         if self._handing is not None:
             return NoLeader(self.group, f"the lead goes to {self._handing[0]}")
         if bound >= self._timings.most_in_flight or len(self._open) >= MOST_STORES:
@@ -651,12 +753,14 @@
             self._heartbeat(now)
 
     def _rounds_back(self, now: float) -> None:
-        """End the reads whose round a majority has answered: this was the leader after they came in, and what was
-        committed then is applied."""
+        """End the reads whose round a majority has answered: this was the leader after they came in, and
+        what was committed then is applied."""
         if not self._reads and not self._new_reads:
             return
-        back = sorted((self._round if who == self.me else self._peers[who].round for who in self.config.voters),
-                      reverse=True)[self.config.majority() - 1]
+        back = sorted(
+            (self._round if who == self.me else self._peers[who].round for who in self.config.voters),
+            reverse=True,
+        )[self.config.majority() - 1]
         while self._reads and self._reads[0][0] <= back:
             self._out.append(Done(self._reads.popleft()[1], None))
         if self.leading and self._new_reads and not self._reads:
@@ -692,13 +796,21 @@
         else:
             learners = tuple(one for one in learners if one != who)
             voters = (*(one for one in voters if one != who), *((who,) if change.act == "promote" else ()))
-            made = self.config if change.act == "promote" and who in self.config.voters else Config(voters, learners)
+            made = (
+                self.config
+                if change.act == "promote" and who in self.config.voters
+                else Config(voters, learners)
+            )
         if made == self.config:
             self._out.append(Done(change.token, made))  # as asked already
             return
-        if not self._rule(Rule.CONFIG_ONE, self.leading and self._log.config_index <= self.commit
-                          and (change.act != "promote" or self._caught_up(who)),
-                          lambda: f"{change} at {self.last}, committed {self.commit}, config {self._log.config_index}"):
+        if not self._rule(
+            Rule.CONFIG_ONE,
+            self.leading
+            and self._log.config_index <= self.commit
+            and (change.act != "promote" or self._caught_up(who)),
+            lambda: f"{change} at {self.last}, committed {self.commit}, config {self._log.config_index}",
+        ):
             self._out.append(Done(change.token, self.stopped))
             return
         self._pending[self._add(CONFIG, encode_config(made))] = change.token
@@ -720,8 +832,11 @@
 
     def _best(self, now: float) -> Id:
         """The voter beside this one that is heard and has most; empty where there is none."""
-        heard = [(peer.match, who) for who, peer in self._peers.items()
-                 if who in self.config.voters and now - peer.heard < self._timings.election_ms]
+        heard = [
+            (peer.match, who)
+            for who, peer in self._peers.items()
+            if who in self.config.voters and now - peer.heard < self._timings.election_ms
+        ]
         return max(heard)[1] if heard else ""
 
     def _finish_hand_over(self, again: bool = False) -> None:
@@ -729,11 +844,16 @@
             return
         to = self._handing[0]
         peer = self._peers.get(to)
-        if peer is not None and peer.match == self._log.last == self.commit and (again or not self._lead_told):
+        if (
+            peer is not None
+            and peer.match == self._log.last == self.commit
+            and (again or not self._lead_told)
+        ):
             self._lead_told = True
             self._tell(to, Lead(self.group, self.term))
 
-    # Following --------------------------------------------------------------------------------------------------------
+    # Following
+    # --------------------------------------------------------------------------------------------------------
 
     def _received(self, now: float, who: Id, message: Any) -> None:
         match message:
@@ -755,8 +875,11 @@
 
     def _see_leader(self, term: int, who: Id) -> bool:
         """Note who leads a term."""
-        holds = self._rule(Rule.ONE_LEADER, self._led[0] != term or self._led[1] == who,
-                           lambda: f"{self.group}: {self._led[1]} and {who} in {term}, seen by {self.me}")
+        holds = self._rule(
+            Rule.ONE_LEADER,
+            self._led[0] != term or self._led[1] == who,
+            lambda: f"{self.group}: {self._led[1]} and {who} in {term}, seen by {self.me}",
+        )
         self._led = (term, who)
         return holds
 
@@ -816,8 +939,11 @@
 
     def _cut(self, index: int) -> bool:
         """Take entries back that no majority has."""
-        if not self._rule(Rule.COMMITTED_STAYS, index > self.commit,
-                          lambda: f"{self.me} cuts at {index}, committed {self.commit}"):
+        if not self._rule(
+            Rule.COMMITTED_STAYS,
+            index > self.commit,
+            lambda: f"{self.me} cuts at {index}, committed {self.commit}",
+        ):
             return False
         self._log.cut(index)
         self._unsafe(index - 1)
@@ -833,7 +959,8 @@
         self._tell(who, Appended(self.group, self.term, False, index, round_))
 
     def _acknowledge(self, who: Id, match: int, round_: int) -> None:
-        """Say what matches, once it is stored; a round is answered at once, as it says only whom this one follows."""
+        """Say what matches, once it is stored; a round is answered at once, as it says only whom this one
+        follows."""
         if match <= self._safe_index and self._safe_term == self.term:
             self._tell(who, Appended(self.group, self.term, True, match, round_))
         else:
@@ -867,7 +994,11 @@
     def _install(self, now: float, snapshot: Snapshot) -> None:
         """In place of the log up to there; what lies behind stays where it goes on from the same entry."""
         log = self._log
-        if log.config is not None and log.last > snapshot.index and log.term_at(snapshot.index) == snapshot.term:
+        if (
+            log.config is not None
+            and log.last > snapshot.index
+            and log.term_at(snapshot.index) == snapshot.term
+        ):
             log.compact(snapshot.index)
         else:
             self._unsafe(self.commit)
@@ -880,7 +1011,8 @@
         self._note_member()
         self._say("info", "snapshot-taken", index=snapshot.index, bytes=len(snapshot.body))
 
-    # Committing and applying ------------------------------------------------------------------------------------------
+    # Committing and applying
+    # ------------------------------------------------------------------------------------------
 
     def _add(self, kind: int, body: bytes) -> int:
         """An entry of the leader's own term."""
@@ -899,8 +1031,11 @@
         log = self._log
         while self.applied < index:
             entry = log.at(self.applied + 1)
-            if not self._rule(Rule.APPLIED_ONCE, entry.index == self.applied + 1,
-                              lambda: f"out of order after {self.applied}"):
+            if not self._rule(
+                Rule.APPLIED_ONCE,
+                entry.index == self.applied + 1,
+                lambda: f"out of order after {self.applied}",
+            ):
                 return
             self.applied = entry.index
             result: Any = None
@@ -926,7 +1061,8 @@
         self._member = self._member or (config is not None and self.me in config.voters + config.learners)
 
     def _let_go(self, now: float) -> None:
-        """A configuration is committed: who is not in it hears of that once, and a leader that is not steps down."""
+        """A configuration is committed: who is not in it hears of that once, and a leader that is not
+        steps down."""
         for who in [who for who in self._peers if not self._knows(who)]:
             self._feed(now, who, self._peers[who], beat=True)
             del self._peers[who]
@@ -937,8 +1073,8 @@
             self._follow(now, self.term)
 
     def _compact(self) -> None:
-        """Put what is applied into a snapshot.  As many entries again stay in memory, so that who is a little behind
-        needs no snapshot."""
+        """Put what is applied into a snapshot.  As many entries again stay in memory, so that who is a
+        little behind needs no snapshot."""
         config = self._log.config_at(self.applied)
         assert config is not None
         self._snapshot = Snapshot(self.applied, self._log.term_at(self.applied), config, self._machine.dump())
@@ -947,7 +1083,8 @@
         if keep > self._log.base:
             self._log.compact(keep)
 
-    # Stable storage ---------------------------------------------------------------------------------------------------
+    # Stable storage
+    # ---------------------------------------------------------------------------------------------------
 
     def _on_stored(self, now: float, seq: int) -> None:
         while self._open and self._open[0].seq <= seq:
@@ -987,7 +1124,8 @@
         if self._rule(Rule.STORED_FIRST, holds, lambda: f"{self.me} tells {to} {message}"):
             self._out.append(Send(to, message))
 
-    # Ends -------------------------------------------------------------------------------------------------------------
+    # Ends
+    # -------------------------------------------------------------------------------------------------------------
 
     def _rule(self, rule: Rule, holds: bool, facts: Any) -> bool:
         """Check an invariant; where it does not hold this copy promises nothing more."""
@@ -1002,7 +1140,9 @@
         if self.role is Role.LEADER:
             best = self._best(now) if isinstance(error, StoreFailed) else ""
             if best:
-                self._out.append(Send(best, Lead(self.group, self.term)))  # it need not wait for an election time
+                self._out.append(
+                    Send(best, Lead(self.group, self.term))
+                )  # it need not wait for an election time
             self._end_lead()
         self.stopped, self.role, self.leader, self.leading = error, Role.FOLLOWER, "", False
         self._held.clear()
--- a/fleet/rollout.py
+++ b/fleet/rollout.py
@@ -1,13 +1,14 @@
 """Rolling drains: gateways restarted or held in waves, each step an entry of the fleet's group.
 
-A wave begins only where what stays carries the traffic and the contracts of that time, each hall stays served, each
-group keeps its majority and all copies are whole; no gateway is taken into the next wave before those of this one
-serve again and are warm.  Each step is compare-and-set on the gateway's round (a wave and a turn of the roll on the
-roll's count of changes), so that whoever leads goes on where another stopped, and a step proposed twice is taken once.
-The leader's word is needed only where conditions must hold (`work`); the rest are reports of the gateway itself.
-
-The gateway's side (`Rolled`) goes by where it stands, not by what it was told when: whoever is not to be drained now
-serves.  So nothing stays half drained, whatever was lost on the way.
+A wave begins only where what stays carries the traffic and the contracts of that time, each hall stays
+served, each group keeps its majority and all copies are whole; no gateway is taken into the next wave before
+those of this one serve again and are warm.  Each step is compare-and-set on the gateway's round (a wave and a
+turn of the roll on the roll's count of changes), so that whoever leads goes on where another stopped, and a
+step proposed twice is taken once. The leader's word is needed only where conditions must hold (`work`); the
+rest are reports of the gateway itself.
+
+The gateway's side (`Rolled`) goes by where it stands, not by what it was told when: whoever is not to be
+drained now serves.  So nothing stays half drained, whatever was lost on the way.
 """
 
 from __future__ import annotations
@@ -34,7 +35,9 @@
 NEAR_MS = 50.0  # between two readings of a gateway that is under way
 READ_MS, PER_MEMBER_MS = 100.0, 10.0  # of another during a roll: the first, and more by the size of the fleet
 IDLE_MS = 500.0  # without a roll, and longer in large fleets; the first wave waits for it
-FRESH_MS = 1000.0  # a reading older than this makes nobody turn clients away or leave: it was frozen, or cut off
+FRESH_MS = (
+    1000.0  # a reading older than this makes nobody turn clients away or leave: it was frozen, or cut off
+)
 GRANT_MS = 50.0  # beside a reading's time: others grow before the wave's gateways turn clients away
 
 
@@ -147,7 +150,13 @@
 UNDER_WAY = AWAY | {G.WARMING}
 DRAINED = frozenset({G.PAUSING, G.EMPTYING, G.ACTING, G.HELD})
 REPORTS: dict[str, Step | None] = {  # what a gateway says, and the step it makes; none: the leader makes it
-    "ready": None, "paused": E.PAUSED, "empty": None, "back": E.BACK, "whole": E.WHOLE, "resumed": E.RESUMED}
+    "ready": None,
+    "paused": E.PAUSED,
+    "empty": None,
+    "back": E.BACK,
+    "whole": E.WHOLE,
+    "resumed": E.RESUMED,
+}
 LEADERS = frozenset({E.ROOMY, E.ACT, E.HOLD, E.WARM, E.LOST})
 NEEDS = {E.ROOMY: "ready", E.ACT: "empty", E.HOLD: "empty"}  # what the gateway must have said before
 
@@ -175,12 +184,19 @@
 
 
 def _texts(**given: str) -> str:
-    return next((f"{key}: expected at most {MOST_TEXT} characters" for key, text in given.items()
-                 if len(text) > MOST_TEXT), "")
+    return next(
+        (
+            f"{key}: expected at most {MOST_TEXT} characters"
+            for key, text in given.items()
+            if len(text) > MOST_TEXT
+        ),
+        "",
+    )
 
 
 class RollAsk(Command, frozen=True):
-    """Drain gateways: by name, or of a hall, or all.  `deadline_ms`: for one to become empty, and to come back."""
+    """Drain gateways: by name, or of a hall, or all.  `deadline_ms`: for one to become empty, and to come
+    back."""
 
     roll: str
     gateways: tuple[str, ...] = ()
@@ -209,13 +225,15 @@
 
 
 class RollCancel(Command, frozen=True):
-    """Take a roll back: whoever is drained serves again, whoever has left comes back, nobody else is drained."""
+    """Take a roll back: whoever is drained serves again, whoever has left comes back, nobody else is
+    drained."""
 
     roll: str
 
 
 class RollResume(Command, frozen=True):
-    """Let go who is held, all or one by name; `force`: act on those that do not become empty, at their loss."""
+    """Let go who is held, all or one by name; `force`: act on those that do not become empty, at their
+    loss."""
 
     roll: str
     gateway: str = ""
@@ -326,7 +344,11 @@
     def __init__(self, rules: Invariants) -> None:
         self._rules = rules
         self.rolls: dict[str, Roll] = {}
-        self._blocked: tuple[str, str, float] = ("", "", 0.0)  # roll, kind of obstacle, since when: the leader's own
+        self._blocked: tuple[str, str, float] = (
+            "",
+            "",
+            0.0,
+        )  # roll, kind of obstacle, since when: the leader's own
 
     @property
     def active(self) -> Roll | None:
@@ -345,7 +367,9 @@
             return self._ask(at_ms, command)
         roll = self.rolls.get(command.roll) if hasattr(command, "roll") else None
         if roll is None:
-            return Applied(error=NotThere(str(getattr(command, "roll", "roll")), "no roll of that name is known"))
+            return Applied(
+                error=NotThere(str(getattr(command, "roll", "roll")), "no roll of that name is known")
+            )
         if isinstance(command, RollCancel):
             return self._cancel(at_ms, roll)
         if isinstance(command, RollResume):
@@ -368,7 +392,9 @@
         if command.roll in self.rolls:
             return Applied(error=WrongState(command.roll, "a roll of that name is known already"))
         if (other := self.active) is not None:
-            return Applied(error=WrongState(command.roll, f"{other.name} is {other.state.value}: one roll at a time"))
+            return Applied(
+                error=WrongState(command.roll, f"{other.name} is {other.state.value}: one roll at a time")
+            )
         while len(self.rolls) >= MOST_ROLLS:
             del self.rolls[next(iter(self.rolls))]  # all have ended, the first longest ago
         self.rolls[command.roll] = Roll(command.roll, command, since=at_ms)
@@ -389,8 +415,11 @@
         if after is None:
             return False
         one.drains += after is G.PAUSING
-        self._rules.check(Rule.ROLL_FORWARD, RANK[after] > RANK[one.stand] and one.drains <= 1,
-                          lambda: f"{roll.name}: {name} from {one.stand.value} to {after.value}, {one.drains} drains")
+        self._rules.check(
+            Rule.ROLL_FORWARD,
+            RANK[after] > RANK[one.stand] and one.drains <= 1,
+            lambda: f"{roll.name}: {name} from {one.stand.value} to {after.value}, {one.drains} drains",
+        )
         one.stand, one.since, one.told = after, at_ms, ""
         one.round += 1
         roll.changes += 1
@@ -418,7 +447,9 @@
                 roll.changes += 1
                 moved += 1
         if not moved:
-            return Applied(error=WrongState(roll.name, "nobody there is held, or, with force, waits to become empty"))
+            return Applied(
+                error=WrongState(roll.name, "nobody there is held, or, with force, waits to become empty")
+            )
         return Applied(self._tell(roll))
 
     def _turn(self, at_ms: float, roll: Roll, command: RollTurn) -> Applied:
@@ -447,8 +478,13 @@
         if command.stamp != roll.changes or roll.state is not S.RUNNING:
             return Applied(error=WrongState(roll.name, "it has moved on"))
         if not 1 <= len(command.gateways) <= roll.ask.at_once or roll.under_way():
-            return Applied(error=WrongState(roll.name, "the wave before is under way, or this one is too large"))
-        if any(name not in roll.gateways or roll.gateways[name].stand is not G.WAITING for name in command.gateways):
+            return Applied(
+                error=WrongState(roll.name, "the wave before is under way, or this one is too large")
+            )
+        if any(
+            name not in roll.gateways or roll.gateways[name].stand is not G.WAITING
+            for name in command.gateways
+        ):
             return Applied(error=WrongState(roll.name, "not all of them wait"))
         if said := self._allowed(roll, command.facts):
             return Applied(error=WrongState(roll.name, said))
@@ -508,14 +544,26 @@
         if one is None:
             return {"roll": "", "read_ms": roll.reading_ms(), "grow": grow}
         under_way = one.stand in UNDER_WAY
-        return {"roll": roll.name, "stand": one.stand.name, "round": one.round, "told": one.told,
-                "process": one.process, "read_ms": NEAR_MS if under_way else roll.reading_ms(),
-                "grow": 1.0 if one.stand in AWAY else grow}
+        return {
+            "roll": roll.name,
+            "stand": one.stand.name,
+            "round": one.round,
+            "told": one.told,
+            "process": one.process,
+            "read_ms": NEAR_MS if under_way else roll.reading_ms(),
+            "grow": 1.0 if one.stand in AWAY else grow,
+        }
 
     def _tell(self, roll: Roll) -> dict[str, Any]:
-        return {"roll": roll.name, "state": roll.state.value, "why": roll.why, "act": roll.ask.act,
-                "reason": roll.ask.reason, "since_ms": roll.since,
-                "gateways": {name: one.stand.value for name, one in roll.gateways.items()}}
+        return {
+            "roll": roll.name,
+            "state": roll.state.value,
+            "why": roll.why,
+            "act": roll.ask.act,
+            "reason": roll.ask.reason,
+            "since_ms": roll.since,
+            "gateways": {name: one.stand.value for name, one in roll.gateways.items()},
+        }
 
     def told(self) -> list[dict[str, Any]]:
         """For operators: every roll that is kept."""
@@ -529,11 +577,13 @@
     # What the leader proposes.
 
     def count(self, view: View, roll: Roll, wave: Iterable[str], leaving: str = "") -> Facts:
-        """What would be left without the wave and those away already.  `leaving`: who of them would leave now;
-        majorities are judged without that one and those that have left: the others' copies are there until they do.
+        """What would be left without the wave and those away already.  `leaving`: who of them would leave
+        now; majorities are judged without that one and those that have left: the others' copies are there
+        until they do.
 
-        `view.load`: "capacity", units a second that all live gateways carry; "demand", what is asked for outside of
-        contracts; "promised", the contracts' rates up to `horizon_ms` ahead.  Without a capacity room is not judged.
+        `view.load`: "capacity", units a second that all live gateways carry; "demand", what is asked for
+        outside of contracts; "promised", the contracts' rates up to `horizon_ms` ahead.  Without a capacity
+        room is not judged.
         """
         gone = {name for name, one in roll.gateways.items() if one.stand in AWAY}
         # Before it has left a gateway of the wave has its copies, or has lost them meanwhile.
@@ -543,10 +593,14 @@
         off = left | held | {leaving} if leaving else away
         alive = {name_of(who) for who in view.alive}
         missing, spare = 0, 1
-        for voters in view.groups.values():  # by their Ids: one that came back with another store is no copy yet
+        for (
+            voters
+        ) in view.groups.values():  # by their Ids: one that came back with another store is no copy yet
             missing += sum(name_of(who) not in left and who not in view.alive for who in voters)
-            spare = min(spare, sum(who in view.alive and name_of(who) not in off for who in voters)
-                        - (len(voters) // 2 + 1))
+            spare = min(
+                spare,
+                sum(who in view.alive and name_of(who) not in off for who in voters) - (len(voters) // 2 + 1),
+            )
         missing += sum(name_of(who) not in left for found in view.behind.values() for who in found)
         halls = {view.halls[name] for name in alive if name in view.halls}
         left = {view.halls[name] for name in alive - away if name in view.halls}
@@ -554,7 +608,9 @@
         have = -1.0
         if "capacity" in view.load:
             have = view.load["capacity"] * len(alive - away) / max(len(alive), 1)
-        return Facts(missing, spare, short, have, view.load.get("demand", 0.0) + view.load.get("promised", 0.0))
+        return Facts(
+            missing, spare, short, have, view.load.get("demand", 0.0) + view.load.get("promised", 0.0)
+        )
 
     def work(self, view: View) -> list[Command]:
         """The next steps whose conditions hold; or why there is none."""
@@ -565,12 +621,18 @@
             return [self._turned(roll, T.SEEN)]
         if roll.state is S.PLANNING:
             return [self._plan(view, roll)]
-        made: list[Command] = [self._stepped(roll, name, E.WARM) for name, one in roll.gateways.items()
-                               if one.stand is G.WARMING and view.wall - one.since >= roll.ask.warm_ms]
+        made: list[Command] = [
+            self._stepped(roll, name, E.WARM)
+            for name, one in roll.gateways.items()
+            if one.stand is G.WARMING and view.wall - one.since >= roll.ask.warm_ms
+        ]
         if roll.state is S.CANCELLING:
             lost = {name_of(who): ms for who, ms in view.dead_for.items()}
-            made += [self._stepped(roll, name, E.LOST) for name, one in roll.gateways.items()
-                     if lost.get(name, 0.0) >= view.timings.repair_after_ms and (one.stand, E.LOST) in STEPS]
+            made += [
+                self._stepped(roll, name, E.LOST)
+                for name, one in roll.gateways.items()
+                if lost.get(name, 0.0) >= view.timings.repair_after_ms and (one.stand, E.LOST) in STEPS
+            ]
             return made
         hard = self._failed(view, roll)
         soft = ""
@@ -596,44 +658,72 @@
             return [self._turned(roll, T.BLOCKED, why)]
         return further
 
-    def _turned(self, roll: Roll, turn: Turn, why: str = "", order: tuple[str, ...] = (), members: int = 0) -> RollTurn:
-        return RollTurn(id=f"roll/{roll.name}/{roll.changes}/{turn.name}", roll=roll.name, stamp=roll.changes,
-                        turn=turn.name, why=why, order=order, members=members)
+    def _turned(
+        self, roll: Roll, turn: Turn, why: str = "", order: tuple[str, ...] = (), members: int = 0
+    ) -> RollTurn:
+        return RollTurn(
+            id=f"roll/{roll.name}/{roll.changes}/{turn.name}",
+            roll=roll.name,
+            stamp=roll.changes,
+            turn=turn.name,
+            why=why,
+            order=order,
+            members=members,
+        )
 
     def _stepped(self, roll: Roll, name: str, step: Step, facts: Facts | None = None) -> RollStep:
         round_ = roll.gateways[name].round
-        # The roll's count is in the id: a step refused where the roll stood then may be made where it stands now.
-        return RollStep(id=f"roll/{roll.name}/{roll.changes}/{name}/{round_}/{step.name}", roll=roll.name, gateway=name,
-                        round=round_, step=step.name, facts=facts, stamp=roll.changes)
+        # The roll's count is in the id: a step refused where the roll stood then may be made where it stands
+        # now.
+        return RollStep(
+            id=f"roll/{roll.name}/{roll.changes}/{name}/{round_}/{step.name}",
+            roll=roll.name,
+            gateway=name,
+            round=round_,
+            step=step.name,
+            facts=facts,
+            stamp=roll.changes,
+        )
 
     def _plan(self, view: View, roll: Roll) -> RollTurn:
         """Who comes when: as asked for, and this leader last, so that it hands over once."""
         ask = roll.ask
-        names = list(ask.gateways) or [name for name in sorted(view.halls) if ask.hall in ("", view.halls[name])]
+        names = list(ask.gateways) or [
+            name for name in sorted(view.halls) if ask.hall in ("", view.halls[name])
+        ]
         unknown = [name for name in names if name not in view.halls]
         if unknown or not names:
-            return self._turned(roll, T.IMPOSSIBLE, f"no such gateway: {', '.join(unknown)[:MOST_TEXT] or ask.hall}")
+            return self._turned(
+                roll, T.IMPOSSIBLE, f"no such gateway: {', '.join(unknown)[:MOST_TEXT] or ask.hall}"
+            )
         names.sort(key=lambda name: name == name_of(view.me))
         return self._turned(roll, T.PLANNED, order=tuple(names), members=len(view.halls))
 
     def _failed(self, view: View, roll: Roll) -> str:
-        """What has gone wrong with those under way.  Who left in order is not dead: a restart is seen as that for a
-        moment when its process is back."""
+        """What has gone wrong with those under way.  Who left in order is not dead: a restart is seen as
+        that for a moment when its process is back."""
         dead = {name_of(who) for who in view.dead_for} - {name_of(who) for who in view.alive}
         for name, one in roll.gateways.items():
             if one.stand not in UNDER_WAY:
                 continue
             if name in dead and one.stand not in (G.ACTING, G.HELD, G.RETURNING):
                 return f"{name} is dead while {one.stand.value}"
-            if one.stand not in (G.HELD, G.WARMING) and not one.told and view.wall - one.since >= roll.ask.deadline_ms:
+            if (
+                one.stand not in (G.HELD, G.WARMING)
+                and not one.told
+                and view.wall - one.since >= roll.ask.deadline_ms
+            ):
                 return f"{name} is late {one.stand.value}"
         return ""
 
     def _further(self, view: View, roll: Roll) -> tuple[str, list[Command]]:
-        """The step that could be made now, one since it changes the facts of the next, or what is in the way."""
+        """The step that could be made now, one since it changes the facts of the next, or what is in the
+        way."""
         said = ""
         for name, one in roll.gateways.items():
-            step = {G.GRANTING: E.ROOMY, G.EMPTYING: E.HOLD if roll.ask.act == "hold" else E.ACT}.get(one.stand)
+            step = {G.GRANTING: E.ROOMY, G.EMPTYING: E.HOLD if roll.ask.act == "hold" else E.ACT}.get(
+                one.stand
+            )
             if step is None or one.told != NEEDS[step]:
                 continue
             if step is E.ROOMY and view.wall - one.since < GRANT_MS + roll.reading_ms():
@@ -664,17 +754,36 @@
                 said = said or found[1]
         if not wave:
             return said, []
-        return "", [RollWave(id=f"roll/{roll.name}/{roll.changes}/wave", roll=roll.name, stamp=roll.changes,
-                             gateways=tuple(wave), facts=self.count(view, roll, wave))]
+        return "", [
+            RollWave(
+                id=f"roll/{roll.name}/{roll.changes}/wave",
+                roll=roll.name,
+                stamp=roll.changes,
+                gateways=tuple(wave),
+                facts=self.count(view, roll, wave),
+            )
+        ]
 
     def seen(self, now: float) -> None:
         """See fleet.part; nothing here ends by the monotonic clock."""
 
     def dump(self) -> Any:
         """See fleet.part."""
-        return [[msgspec.to_builtins(roll.ask), roll.state.name, roll.since, roll.why, roll.changes, roll.members,
-                 [[name, one.stand.name, one.round, one.since, one.told, one.process, one.drains]
-                  for name, one in roll.gateways.items()]] for roll in self.rolls.values()]
+        return [
+            [
+                msgspec.to_builtins(roll.ask),
+                roll.state.name,
+                roll.since,
+                roll.why,
+                roll.changes,
+                roll.members,
+                [
+                    [name, one.stand.name, one.round, one.since, one.told, one.process, one.drains]
+                    for name, one in roll.gateways.items()
+                ],
+            ]
+            for roll in self.rolls.values()
+        ]
 
     def load(self, raw: Any) -> None:
         """See fleet.part."""
@@ -682,8 +791,15 @@
         for ask, state, since, why, changes, members, gateways in raw:
             asked = msgspec.convert(ask, RollAsk)
             self.rolls[asked.roll] = Roll(
-                asked.roll, asked, State[state], since, why, changes, members,
-                {name: Gateway(Stand[stand], *rest) for name, stand, *rest in gateways})
+                asked.roll,
+                asked,
+                State[state],
+                since,
+                why,
+                changes,
+                members,
+                {name: Gateway(Stand[stand], *rest) for name, stand, *rest in gateways},
+            )
 
 
 class Duty(Enum):
@@ -696,7 +812,8 @@
 
 @dataclass(slots=True)
 class Rolled:
-    """A gateway's side.  The shell tells how it stands (`tell`), takes `duties`, and goes by the three flags."""
+    """A gateway's side.  The shell tells how it stands (`tell`), takes `duties`, and goes by the three
+    flags."""
 
     me: str  # its name
     process: Id  # this process: another one is another start
@@ -734,10 +851,17 @@
         return float(self.record.get("grow", 1.0))
 
     def tell(self, *, leads: int, trimmed: bool, drained: bool, empty: bool, whole: bool) -> None:
-        """How this gateway stands: groups led; whether its connections are down to its need; whether clients are turned
-        away and the front knows; whether nothing is open and no lease held; whether its copies have caught up."""
-        self._ready = {"ready": not leads and trimmed, "paused": drained, "empty": drained and empty,
-                       "whole": not drained and whole, "resumed": not drained, "back": True}
+        """How this gateway stands: groups led; whether its connections are down to its need; whether
+        clients are turned away and the front knows; whether nothing is open and no lease held; whether its
+        copies have caught up."""
+        self._ready = {
+            "ready": not leads and trimmed,
+            "paused": drained,
+            "empty": drained and empty,
+            "whole": not drained and whole,
+            "resumed": not drained,
+            "back": True,
+        }
 
     def duties(self, now: float) -> list[Duty]:
         """What has to be done now, each told once."""
@@ -760,8 +884,13 @@
             return ""
         if not self.mine and stand in DRAINED | {G.UNDOING}:
             return "back"
-        what = {G.GRANTING: "ready", G.PAUSING: "paused", G.EMPTYING: "empty", G.RETURNING: "whole",
-                G.UNDOING: "resumed"}.get(stand, "")
+        what = {
+            G.GRANTING: "ready",
+            G.PAUSING: "paused",
+            G.EMPTYING: "empty",
+            G.RETURNING: "whole",
+            G.UNDOING: "resumed",
+        }.get(stand, "")
         return what if what and self._ready.get(what) and self.record["told"] != what else ""
 
     @property
@@ -778,8 +907,18 @@
         if self._out is None:
             self._count += 1
             id_, what = f"rolled/{self.process}/{self._count}", self._report()
-            self._out = RollReport(id=id_, roll=self.record["roll"], gateway=self.me, round=self.record["round"],
-                                   what=what, process=self.process) if what else RollRead(id=id_, gateway=self.me)
+            self._out = (
+                RollReport(
+                    id=id_,
+                    roll=self.record["roll"],
+                    gateway=self.me,
+                    round=self.record["round"],
+                    what=what,
+                    process=self.process,
+                )
+                if what
+                else RollRead(id=id_, gateway=self.me)
+            )
         self._under_way, self._asked = True, now
         return [self._out]
 
@@ -794,22 +933,34 @@
             self._out, self._read = None, self._asked
             if self.moved is not None and before.get("stand") != self.record.get("stand"):
                 self.moved()
-            self._next = now + max(self.record["read_ms"], 0.0 if self.record["roll"] else PER_MEMBER_MS * self.members)
+            self._next = now + max(
+                self.record["read_ms"], 0.0 if self.record["roll"] else PER_MEMBER_MS * self.members
+            )
             return
         if isinstance(self._out, RollRead) or isinstance(error, BadCall | NotThere | TakenId | WrongState):
-            self._out = None  # a reading may as well be a new one; what was refused is not said again as it was
+            self._out = (
+                None  # a reading may as well be a new one; what was refused is not said again as it was
+            )
             if isinstance(error, NotThere):
                 self.record = {}
         self._next = now + READ_MS
 
 
-def least_ms(gateways: Iterable[str], groups: dict[str, tuple[str, ...]], halls: dict[str, str], at_once: int,
-             carried: float, wave_ms: float) -> float:
-    """The least time that the limits allow: so many waves at the least, each of `wave_ms` (turning away, emptying,
-    acting, warming as they take without any schedule).  `carried`: the part of the fleet that must stay for its load.
-
-    A bound from below, found without the schedule's own choice: by the most at once, by the load, by each hall (its
-    last gateway stays), by each group, and by gateways each two of which share a group that spares one only.
+def least_ms(
+    gateways: Iterable[str],
+    groups: dict[str, tuple[str, ...]],
+    halls: dict[str, str],
+    at_once: int,
+    carried: float,
+    wave_ms: float,
+) -> float:
+    """The least time that the limits allow: so many waves at the least, each of `wave_ms` (turning away,
+    emptying, acting, warming as they take without any schedule).  `carried`: the part of the fleet that must
+    stay for its load.
+
+    A bound from below, found without the schedule's own choice: by the most at once, by the load, by each
+    hall (its last gateway stays), by each group, and by gateways each two of which share a group that spares
+    one only.
     """
     names = sorted(set(gateways))
     members = len(halls)
--- a/fleet/setup.py
+++ b/fleet/setup.py
@@ -44,8 +44,8 @@
 
 
 class Holder(Protocol):
-    """This gateway's side of leases: asks for them, and knows when they end.  One that has a figure `due`, ms, is polled
-    by then, if that is before its usual time."""
+    """This gateway's side of leases: asks for them, and knows when they end.  One that has a figure `due`,
+    ms, is polled by then, if that is before its usual time."""
 
     def poll(self, now: float, wall: float) -> list[Command]:
         """Calls to make now; one at a time for each key."""
--- a/fleet/share.py
+++ b/fleet/share.py
@@ -1,7 +1,9 @@
-"""Who may send when capacity falls short: unreserved use goes first, then contracts by class, evenly within a class.
+"""Who may send when capacity falls short: unreserved use goes first, then contracts by class, evenly within a
+class.
 
-`split` divides a capacity; `Share` keeps to it over time at one gateway.  Evenly means: each contract of the class that
-no longer fits gets the same part of what it needs, so a small one is not eaten up by a large one, nor the reverse.
+`split` divides a capacity; `Share` keeps to it over time at one gateway.  Evenly means: each contract of the
+class that no longer fits gets the same part of what it needs, so a small one is not eaten up by a large one,
+nor the reverse.
 """
 
 from __future__ import annotations
@@ -61,7 +63,9 @@
     at: float = 0.0
 
     def fill(self, now: float) -> None:
-        self.level = min(self.level + self.rate * (now - self.at) / 1000.0, max(self.rate * DEPTH_MS / 1000.0, 1.0))
+        self.level = min(
+            self.level + self.rate * (now - self.at) / 1000.0, max(self.rate * DEPTH_MS / 1000.0, 1.0)
+        )
         self.at = now
 
 
@@ -85,8 +89,8 @@
         return self.last
 
     def may(self, now: float, contract: str, units: float) -> bool:
-        """Whether a request under a contract, or under none (""), may be sent now.  A flow may go below nothing by one
-        request, so that one larger than its depth still goes when it is its turn."""
+        """Whether a request under a contract, or under none (""), may be sent now.  A flow may go below
+        nothing by one request, so that one larger than its depth still goes when it is its turn."""
         flow = self.flows.get(contract)
         if flow is None:
             return False
--- a/fleet/state.py
+++ b/fleet/state.py
@@ -1,7 +1,7 @@
 """What a group's log is applied to: its parts, the group's own time, and which ids were taken.
 
-The fleet's own group holds admission, who copies what, and rolls; every other group holds what hashing gives it:
-floors of tenants, connections of servers, promises, units owed.
+The fleet's own group holds admission, who copies what, and rolls; every other group holds what hashing gives
+it: floors of tenants, connections of servers, promises, units owed.
 """
 
 from __future__ import annotations
@@ -20,8 +20,12 @@
 from fleet.part import FLEET, Applied, Command, View
 from fleet.timings import Timings
 
-MOST_IDS = 8192  # of calls that are remembered with their answers; the oldest goes first, and then a repeat is new
-MOST_ANSWERS = 8 * 1024 * 1024  # bytes of their answers, a part of what a snapshot takes: the oldest goes first, too
+MOST_IDS = (
+    8192  # of calls that are remembered with their answers; the oldest goes first, and then a repeat is new
+)
+MOST_ANSWERS = (
+    8 * 1024 * 1024
+)  # bytes of their answers, a part of what a snapshot takes: the oldest goes first, too
 MOST_BODY = 256 * 1024
 
 
@@ -34,8 +38,13 @@
         self.others: dict[str, Callable[[Timings, Invariants], Any]] = {}
         self.part_of: dict[type[Command], str] = {}
 
-    def add(self, name: str, commands: tuple[type[Command], ...],
-            make: Callable[[Timings, Invariants], Any], own: bool) -> None:
+    def add(
+        self,
+        name: str,
+        commands: tuple[type[Command], ...],
+        make: Callable[[Timings, Invariants], Any],
+        own: bool,
+    ) -> None:
         """Hang in a part under a name that snapshots go by."""
         (self.own if own else self.others)[name] = make
         for command in commands:
@@ -49,7 +58,9 @@
 REGISTRY.add("contracts", contracts.FLEET_COMMANDS, contracts.Contracts, True)
 REGISTRY.add("rolls", rollout.COMMANDS, lambda timings, rules: rollout.Rolls(rules), True)
 REGISTRY.add("floors", contracts.TENANT_COMMANDS, contracts.Floors, False)
-REGISTRY.add("connections", connections.COMMANDS, lambda timings, rules: connections.Connections(rules, timings), False)
+REGISTRY.add(
+    "connections", connections.COMMANDS, lambda timings, rules: connections.Connections(rules, timings), False
+)
 REGISTRY.add("owed", owed.COMMANDS, lambda timings, rules: owed.Owed(), False)
 
 _encoder = msgspec.msgpack.Encoder()
@@ -98,7 +109,9 @@
 
     def apply(self, now: float, index: int, body: bytes) -> Applied:
         """One entry.  Never raises but for a broken invariant."""
-        self._rules.check(Rule.APPLIED_ONCE, index > self.index, lambda: f"{self.group}: {index} after {self.index}")
+        self._rules.check(
+            Rule.APPLIED_ONCE, index > self.index, lambda: f"{self.group}: {index} after {self.index}"
+        )
         self.index = index
         try:
             at_ms, command = decode(body)
@@ -112,7 +125,9 @@
             return msgspec.msgpack.decode(known[1], type=Applied)
         part = self.parts.get(REGISTRY.part_of[type(command)])
         if part is None:
-            return Applied(error=BadCall(command.id, f"{type(command).__name__} is not for group {self.group}"))
+            return Applied(
+                error=BadCall(command.id, f"{type(command).__name__} is not for group {self.group}")
+            )
         result: Applied = part.apply(self.at_ms, command)
         part.seen(now)
         if command.once and result.error is None:  # what was refused changed nothing, and may be asked again
@@ -124,8 +139,9 @@
         return result
 
     def _forget(self) -> None:
-        """The oldest answers, beyond the bounds.  What is left depends on the order of calls alone, so that all copies
-        forget the same, and one that was restored as well: from an older build's snapshot there may be too many."""
+        """The oldest answers, beyond the bounds.  What is left depends on the order of calls alone, so
+        that all copies forget the same, and one that was restored as well: from an older build's snapshot
+        there may be too many."""
         while len(self._ids) > MOST_IDS or self._answers > MOST_ANSWERS:
             self._answers -= len(self._ids.pop(next(iter(self._ids)))[1])
 
@@ -133,7 +149,9 @@
         """Answer a command that only reads."""
         part = self.parts.get(REGISTRY.part_of[type(command)])
         if part is None or not command.reads:
-            return Applied(error=BadCall(command.id, f"{type(command).__name__} is not for group {self.group}"))
+            return Applied(
+                error=BadCall(command.id, f"{type(command).__name__} is not for group {self.group}")
+            )
         found: Applied = part.look(command)
         return found
 
@@ -143,8 +161,14 @@
 
     def dump(self) -> bytes:
         """A snapshot."""
-        return _encoder.encode([self.at_ms, self.index, [[name, *known] for name, known in self._ids.items()],
-                                {name: part.dump() for name, part in self.parts.items()}])
+        return _encoder.encode(
+            [
+                self.at_ms,
+                self.index,
+                [[name, *known] for name, known in self._ids.items()],
+                {name: part.dump() for name, part in self.parts.items()},
+            ]
+        )
 
     def restore(self, now: float, body: bytes) -> None:
         """From a snapshot."""
--- a/fleet/timings.py
+++ b/fleet/timings.py
@@ -1,4 +1,5 @@
-"""Times and bounds of a fleet, ms; the operators' file can change them, and `check` names what does not go together."""
+"""Times and bounds of a fleet, ms; the operators' file can change them, and `check` names what does not go
+together."""
 
 from __future__ import annotations
 
@@ -8,7 +9,9 @@
 class Timings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Defaults for machines of one site (some ms apart)."""
 
-    heartbeat_ms: float = 100.0  # where a leader has nothing new, one falls out of two (fleet/replica.py, QUIET)
+    heartbeat_ms: float = (
+        100.0  # where a leader has nothing new, one falls out of two (fleet/replica.py, QUIET)
+    )
     election_ms: float = 600.0  # without a leader's word; drawn from once to twice this
     probe_ms: float = 500.0  # one member is probed in so long (SWIM's protocol period)
     probe_timeout_ms: float = 150.0  # before others are asked to probe for it
@@ -30,8 +33,11 @@
 
 def faults(made: Timings) -> list[str]:
     """What does not go together, each line with its key."""
-    found = [f"{name}: expected above 0, got {getattr(made, name)!r}"
-             for name in made.__struct_fields__ if not getattr(made, name) > 0]
+    found = [
+        f"{name}: expected above 0, got {getattr(made, name)!r}"
+        for name in made.__struct_fields__
+        if not getattr(made, name) > 0
+    ]
     if made.election_ms < 3 * made.heartbeat_ms:
         found.append("election_ms: expected three heartbeats at the least")
     if made.clock_drift >= 0.5:
--- a/lab/bench_fleet.py
+++ b/lab/bench_fleet.py
@@ -1,5 +1,5 @@
-"""What a fleet costs on this machine: real processes, one a member, each with nothing but the fleet's part in it, their
-links on loopback and their stores in a folder; and the same decisions in simulated time.
+"""What a fleet costs on this machine: real processes, one a member, each with nothing but the fleet's part in
+it, their links on loopback and their stores in a folder; and the same decisions in simulated time.
 
     python -m lab.bench_fleet idle [members] [groups]       CPU a second of a member that has nothing to do
     python -m lab.bench_fleet promises [seconds]            acknowledged promises a second, and how long each took
@@ -78,7 +78,8 @@
         """Nothing ends here."""
 
 
-# A member's process ---------------------------------------------------------------------------------------------------
+# A member's process
+# ---------------------------------------------------------------------------------------------------
 
 
 async def _member(fleet: Fleet, pools: bool) -> None:
@@ -174,13 +175,31 @@
 class Stage:
     """A fleet of such members, founded and with a leader for each group."""
 
-    def __init__(self, members: int, copies: int, groups: int = 8, fsync: bool = True, pools: bool = False) -> None:
+    def __init__(
+        self, members: int, copies: int, groups: int = 8, fsync: bool = True, pools: bool = False
+    ) -> None:
         self._folder = tempfile.TemporaryDirectory(prefix="bench-fleet-")
-        entries = tuple(MemberEntry(f"m{at}", "hall-" + "ab"[at % 2], f"127.0.0.1:{port}")
-                        for at, port in enumerate(_ports(members)))
-        self.members = [Member(Fleet(True, "bench", one.name, str(Path(self._folder.name) / one.name), copies, groups,
-                                     entries, fsync=fsync, servers=Servers(24 if pools else 0)), pools)
-                        for one in entries]
+        entries = tuple(
+            MemberEntry(f"m{at}", "hall-" + "ab"[at % 2], f"127.0.0.1:{port}")
+            for at, port in enumerate(_ports(members))
+        )
+        self.members = [
+            Member(
+                Fleet(
+                    True,
+                    "bench",
+                    one.name,
+                    str(Path(self._folder.name) / one.name),
+                    copies,
+                    groups,
+                    entries,
+                    fsync=fsync,
+                    servers=Servers(24 if pools else 0),
+                ),
+                pools,
+            )
+            for one in entries
+        ]
         until = time.monotonic() + 30.0
         while not self._whole(groups):
             if time.monotonic() > until:
@@ -229,11 +248,15 @@
             stage.members[0].ask(do="profiled")
             stage.members[0].told()
         for (cpu, was), (later, now) in zip(before, after, strict=True):
-            sent = sum(one["sent"] for one in now["links"].values()) - sum(one["sent"] for one in was["links"].values())
+            sent = sum(one["sent"] for one in now["links"].values()) - sum(
+                one["sent"] for one in was["links"].values()
+            )
             leads = sum(one["leader"] == now["me"] for one in now["groups"].values())
-            print(f"{now['me']:14} {(later - cpu) / took * 1000.0:6.1f} ms of CPU a second, "
-                  f"{sent / took:6.1f} messages, {len(now['groups'])} copies, leads {leads}, "
-                  f"{(now['store']['transactions'] - was['store']['transactions']) / took:.1f} transactions")
+            print(
+                f"{now['me']:14} {(later - cpu) / took * 1000.0:6.1f} ms of CPU a second, "
+                f"{sent / took:6.1f} messages, {len(now['groups'])} copies, leads {leads}, "
+                f"{(now['store']['transactions'] - was['store']['transactions']) / took:.1f} transactions"
+            )
 
 
 def _figures(stage: Stage, what: str, seconds: float, under_way: int) -> None:
@@ -245,9 +268,12 @@
         one.ask(do="load", under_way=each, seconds=seconds)
     took = sorted(ms for one in loading for ms in one.told()[1])
     cpu = sum(later - was for (was, _), (later, _) in zip(before, stage.all(do="status"), strict=True))
-    print(f"{what}, {each * len(loading)} under way: {len(took) / seconds:7.0f} a second, p50 "
-          f"{took[len(took) // 2]:6.1f} ms, p99 {took[len(took) * 99 // 100]:6.1f} ms, "
-          f"{cpu / max(len(took), 1) * 1e6:6.0f} us of CPU each, all members", flush=True)
+    print(
+        f"{what}, {each * len(loading)} under way: {len(took) / seconds:7.0f} a second, p50 "
+        f"{took[len(took) // 2]:6.1f} ms, p99 {took[len(took) * 99 // 100]:6.1f} ms, "
+        f"{cpu / max(len(took), 1) * 1e6:6.0f} us of CPU each, all members",
+        flush=True,
+    )
 
 
 def promises(seconds: float) -> None:
@@ -276,9 +302,14 @@
         before = dict(world.network.messages)
         world.calendar.run(25_000.0)
         sent = sorted((many - before.get(name, 0)) / 5.0 for name, many in world.network.messages.items())
-        founded = sum(one.node is not None and one.node.founding.record is not None for one in world.machines.values())
-        print(f"{members:3} members, {founded} founded: {sum(sent) / members:6.1f} messages a second each, least "
-              f"{sent[0]:.1f}, middle {sent[len(sent) // 2]:.1f}, most {sent[-1]:.1f}", flush=True)
+        founded = sum(
+            one.node is not None and one.node.founding.record is not None for one in world.machines.values()
+        )
+        print(
+            f"{members:3} members, {founded} founded: {sum(sent) / members:6.1f} messages a second each, least "
+            f"{sent[0]:.1f}, middle {sent[len(sent) // 2]:.1f}, most {sent[-1]:.1f}",
+            flush=True,
+        )
 
 
 def rules(rounds: int = 7) -> None:
@@ -298,14 +329,19 @@
         took[on].append(time.process_time() - begun)
     Replica._rule, Invariants.check = checked  # type: ignore[method-assign]
     ratio = statistics.median(one / off for one, off in zip(took[True], took[False], strict=True))
-    print(f"checked {min(took[True]):.2f} s, not {min(took[False]):.2f} s, ratio {ratio:.3f} (middle of {rounds} pairs)")
+    print(
+        f"checked {min(took[True]):.2f} s, not {min(took[False]):.2f} s, ratio {ratio:.3f} (middle of {rounds} pairs)"
+    )
 
 
 def _cpu(stage: RealStage) -> float:
     """CPU seconds of its first gateway, all threads."""
     process = stage._gateways[0].process
     assert process is not None
-    return sum(int(one.read_text().split()[0]) for one in Path(f"/proc/{process.pid}/task").glob("*/schedstat")) / 1e9
+    return (
+        sum(int(one.read_text().split()[0]) for one in Path(f"/proc/{process.pid}/task").glob("*/schedstat"))
+        / 1e9
+    )
 
 
 async def _queries(stage: RealStage, rate: float, seconds: float) -> dict[str, int]:
@@ -331,10 +367,23 @@
 
 async def ratio(rate: float, pairs: int, seconds: float = 1.5, members: int = 5) -> None:
     """CPU of a real gateway of no fleet, and of one of a fleet, under the same queries in turns."""
-    base = Scenario("bench", gateways=1, started=1, watch=False, servers=8, work_ms=(4.0, 8.0), slots=64,
-                    plans=(PlanText("dealer", 1e5, 1e5, 1e5, 1e5),), counter_calls=1e5)
-    stages = {"off": RealStage(base, 1), "on": RealStage(replace(
-        base, gateways=members, started=members, fleet=True, halls=2, connections=24), 1)}
+    base = Scenario(
+        "bench",
+        gateways=1,
+        started=1,
+        watch=False,
+        servers=8,
+        work_ms=(4.0, 8.0),
+        slots=64,
+        plans=(PlanText("dealer", 1e5, 1e5, 1e5, 1e5),),
+        counter_calls=1e5,
+    )
+    stages = {
+        "off": RealStage(base, 1),
+        "on": RealStage(
+            replace(base, gateways=members, started=members, fleet=True, halls=2, connections=24), 1
+        ),
+    }
     used: dict[str, list[float]] = {"off": [], "on": []}
     idle_: dict[str, list[float]] = {"off": [], "on": []}
     ends: dict[str, dict[str, int]] = {"off": {}, "on": {}}
@@ -358,8 +407,10 @@
         for stage in stages.values():
             await stage.close()
     for kind in stages:
-        print(f"{kind:3}: {statistics.median(used[kind]):6.1f} ms of CPU a second at {rate:.0f} queries a second, idle "
-              f"{statistics.median(idle_[kind]):5.1f} ({min(idle_[kind]):.1f} to {max(idle_[kind]):.1f}); {ends[kind]}")
+        print(
+            f"{kind:3}: {statistics.median(used[kind]):6.1f} ms of CPU a second at {rate:.0f} queries a second, idle "
+            f"{statistics.median(idle_[kind]):5.1f} ({min(idle_[kind]):.1f} to {max(idle_[kind]):.1f}); {ends[kind]}"
+        )
     parts = sorted(on / off for off, on in zip(used["off"], used["on"], strict=True))
     print(f"ratio {statistics.median(parts):.3f}, {parts[0]:.3f} to {parts[-1]:.3f}, of {pairs} pairs")
 
--- a/lab/commands.py
+++ b/lab/commands.py
@@ -94,6 +94,7 @@
     """
     from lab.stage.fleet import unplayable
     from lab.stage.run import Stage
+
     text, source = _load(scenario)
     if why_not := unplayable(text):
         click.echo(f"{scenario}: {why_not}", err=True)
@@ -124,9 +125,19 @@
         _json(figures)
     else:
         table = Table(box=None, show_header=False)
-        for key in ("scenario", "ceiling_broken", "ceiling_excess", "beyond_share", "sent_of_allowed",
-                    "stated_error", "detect_ms", "false_alarms", "unanswered", "twice_answered",
-                    *FleetFigures.__dataclass_fields__):
+        for key in (
+            "scenario",
+            "ceiling_broken",
+            "ceiling_excess",
+            "beyond_share",
+            "sent_of_allowed",
+            "stated_error",
+            "detect_ms",
+            "false_alarms",
+            "unanswered",
+            "twice_answered",
+            *FleetFigures.__dataclass_fields__,
+        ):
             if figures[key] is not None:
                 table.add_row(key, str(figures[key]))
         Console().print(table)
@@ -141,6 +152,7 @@
     if not text.fleet:
         return play(text, seed), FleetFigures()
     from lab.fleet.drawn import play_scenario
+
     return play(text, seed), play_scenario(text, seed)
 
 
@@ -152,8 +164,15 @@
 @click.option("--to", type=click.Path(path_type=Path), help="Folder for figures, events and the report.")
 @click.option("--json", "as_json", is_flag=True, help="One JSON document.")
 @click.option("--jobs", default=0, help="Processes; 0: one for each core.")
-def sim(scenario: str, seeds: int, gateways: int | None, watch: bool | None, to: Path | None, as_json: bool,
-        jobs: int) -> None:
+def sim(
+    scenario: str,
+    seeds: int,
+    gateways: int | None,
+    watch: bool | None,
+    to: Path | None,
+    as_json: bool,
+    jobs: int,
+) -> None:
     """Play SCENARIO in simulated time against the decision code, once for each seed.
 
     The same scenario and seed give the same bytes.  Exit code 1 where a ceiling was broken, the stated
@@ -170,8 +189,10 @@
         text = resize(text, gateways)
     results: list[Result] = []
     fleets: list[FleetFigures] = []
-    with (multiprocessing.Pool(jobs or None) as pool,
-          Progress(console=Console(stderr=True), transient=True, disable=as_json) as progress):
+    with (
+        multiprocessing.Pool(jobs or None) as pool,
+        Progress(console=Console(stderr=True), transient=True, disable=as_json) as progress,
+    ):
         task = progress.add_task(text.name, total=seeds)
         for result, fleet in pool.imap(_one, [(text, seed) for seed in range(1, seeds + 1)]):
             results.append(result)
@@ -179,8 +200,16 @@
             progress.advance(task)
     figures = summary(text, results, fleets)
     if to is not None:
-        events = [{"at_ms": shown.at_ms, "event": "belief", "gateway": shown.gateway + 1,
-                   "belief": shown.belief, "sign": shown.sign} for shown in results[0].beliefs]
+        events = [
+            {
+                "at_ms": shown.at_ms,
+                "event": "belief",
+                "gateway": shown.gateway + 1,
+                "belief": shown.belief,
+                "sign": shown.sign,
+            }
+            for shown in results[0].beliefs
+        ]
         write_folder(to, text, source, results, figures, events)
     if as_json:
         _json(figures)
@@ -192,9 +221,11 @@
             if key in KEYS or figures[key] is not None:
                 table.add_row(key, *(str(row.get(part, "")) for part in ("worst", "median", "best")))
         Console().print(table)
-        click.echo(f"stated error {figures['stated_error']:.3f}, "
-                   f"ceilings broken {figures['ceiling_broken']}, "
-                   f"false alarms {figures['false_alarms']}, seeds {seeds}")
+        click.echo(
+            f"stated error {figures['stated_error']:.3f}, "
+            f"ceilings broken {figures['ceiling_broken']}, "
+            f"false alarms {figures['false_alarms']}, seeds {seeds}"
+        )
     sys.exit(0 if all(map(within_stated, results)) and not any(one.bad() for one in fleets) else BAD)
 
 
@@ -206,7 +237,9 @@
     return replace(text, gateways=gateways, started=gateways, faults=faults)
 
 
-def summary(text: Scenario, results: list[Result], fleets: list[FleetFigures] | None = None) -> dict[str, Any]:
+def summary(
+    text: Scenario, results: list[Result], fleets: list[FleetFigures] | None = None
+) -> dict[str, Any]:
     """Figures over all seeds: worst, median and best of each; the fleet's own keys hold the worst."""
     rows = [result.figures() for result in results]
     parts: dict[str, dict[str, Any]] = {}
@@ -216,19 +249,31 @@
             parts[key] = {"worst": None, "median": None, "best": None}
             continue
         low_is_bad = key == "sent_of_allowed"
-        parts[key] = {"worst": known[0 if low_is_bad else -1], "median": known[len(known) // 2],
-                       "best": known[-1 if low_is_bad else 0]}
+        parts[key] = {
+            "worst": known[0 if low_is_bad else -1],
+            "median": known[len(known) // 2],
+            "best": known[-1 if low_is_bad else 0],
+        }
     fleet = spread([one.plain() for one in fleets or [FleetFigures()]])
     worst = {key: row.get("worst") for key, row in fleet.items()}
     if states := [one.roll_state for one in fleets or [] if one.roll_state is not None]:
         worst["roll_state"] = next((state for state in states if state != "done"), "done")
-    return {"scenario": text.name, "kind": "simulated", "seeds": len(rows), "gateways": text.gateways,
-            "watch": text.watch, "spread": {**parts, **fleet}, **worst, "stated_error": rows[0]["stated_error"],
-            "ceiling_broken": sum(row["ceiling_broken"] for row in rows),
-            "false_alarms": sum(row["false_alarms"] for row in rows),
-            "unanswered": sum(row["unanswered"] for row in rows),
-            "twice_answered": sum(row["twice_answered"] for row in rows),
-            "calls_a_try": rows[0]["calls_a_try"], "watch_calls_a_second": rows[0]["watch_calls_a_second"]}
+    return {
+        "scenario": text.name,
+        "kind": "simulated",
+        "seeds": len(rows),
+        "gateways": text.gateways,
+        "watch": text.watch,
+        "spread": {**parts, **fleet},
+        **worst,
+        "stated_error": rows[0]["stated_error"],
+        "ceiling_broken": sum(row["ceiling_broken"] for row in rows),
+        "false_alarms": sum(row["false_alarms"] for row in rows),
+        "unanswered": sum(row["unanswered"] for row in rows),
+        "twice_answered": sum(row["twice_answered"] for row in rows),
+        "calls_a_try": rows[0]["calls_a_try"],
+        "watch_calls_a_second": rows[0]["watch_calls_a_second"],
+    }
 
 
 @lab.command()
@@ -269,6 +314,7 @@
         badgeryoke lab report results/split
     """
     from lab.report.write import render_folder
+
     try:
         click.echo(str(render_folder(folder)))
     except (OSError, ValueError, KeyError) as fault:
@@ -287,6 +333,7 @@
         badgeryoke demo --seconds 20
     """
     from lab.stage.run import Stage
+
     text, _ = _load("demo")
     text = replace(text, length_ms=seconds * 1000.0 if seconds > 0 else 24 * 3_600_000.0)
     console = Console()
@@ -295,8 +342,10 @@
             live.stop()
         stage = Stage(text, 1, None, _painter(live, as_json))
         if not as_json:
-            console.print("badgeryoke demo: one real gateway on loopback, everything around it emulated. "
-                          "Ctrl-C ends it.")
+            console.print(
+                "badgeryoke demo: one real gateway on loopback, everything around it emulated. "
+                "Ctrl-C ends it."
+            )
         try:
             result = asyncio.run(_until_stopped(stage))
         except RuntimeError as fault:
@@ -305,16 +354,19 @@
     if as_json:
         _json({**result.figures(), **stage.extra_figures()})
     else:
-        console.print(f"{result.verdict.tries} tries: {stage.counts['served']} served, "
-                      f"{stage.counts['refused']} refused, {stage.counts['failed']} failed; "
-                      f"{result.verdict.unanswered} without an answer, "
-                      f"{result.verdict.beyond_share:.1%} of the units beyond a quota.")
+        console.print(
+            f"{result.verdict.tries} tries: {stage.counts['served']} served, "
+            f"{stage.counts['refused']} refused, {stage.counts['failed']} failed; "
+            f"{result.verdict.unanswered} without an answer, "
+            f"{result.verdict.beyond_share:.1%} of the units beyond a quota."
+        )
     sys.exit(0 if within_stated(result) and not result.verdict.unanswered else BAD)
 
 
 async def _until_stopped(stage: Any) -> Result:
     """Play until its length or Ctrl-C, which ends the load and lets what is open be answered."""
     import signal
+
     loop = asyncio.get_running_loop()
 
     def stop() -> None:
@@ -341,4 +393,5 @@
             table.add_row(f"units {key}", f"{event[key]:.0f}", "")
         last.update(counts)
         live.update(table)
+
     return paint
--- a/lab/core_cost.py
+++ b/lab/core_cost.py
@@ -1,10 +1,10 @@
-"""CPU a query of the core, side by side in one run: the fleet's part off, on without a contract, with another tenant's
-contract, and with one that every query is drawn from.
+"""CPU a query of the core, side by side in one run: the fleet's part off, on without a contract, with another
+tenant's contract, and with one that every query is drawn from.
 
     python -m lab.core_cost [rounds]
 
-Each round plays a hundred queries in each of the four, in an order drawn anew; the ratio is the middle one of all
-rounds, since a busy machine slows whole rounds.
+Each round plays a hundred queries in each of the four, in an order drawn anew; the ratio is the middle one of
+all rounds, since a busy machine slows whole rounds.
 """
 
 from __future__ import annotations
@@ -59,11 +59,24 @@
     def __init__(self, kind: str) -> None:
         self.loop, self._out, self._answers, self._asked = Loop(), list[Execution](), 0, 0
         cls = api.RequestClass("read", 400.0, 2000.0, api.Effect.SAFE)
-        settings = api.Settings(0, 1, "a", 2.0, (cls,), (api.Plan("plan", 1e6, 1e6),), can_cancel=True, max_attempts=3)
-        self.core = Core(settings, 1, Turns(self.loop), lambda: self.loop.now * 1000.0, lambda _: self, self,
-                         reserves=kind != "off")
-        self.core.members(api.Members(api.Scope.FULL, tuple(
-            api.Server(number, "a", "std", 0, api.State.UP) for number in range(1, 9))))
+        settings = api.Settings(
+            0, 1, "a", 2.0, (cls,), (api.Plan("plan", 1e6, 1e6),), can_cancel=True, max_attempts=3
+        )
+        self.core = Core(
+            settings,
+            1,
+            Turns(self.loop),
+            lambda: self.loop.now * 1000.0,
+            lambda _: self,
+            self,
+            reserves=kind != "off",
+        )
+        self.core.members(
+            api.Members(
+                api.Scope.FULL,
+                tuple(api.Server(number, "a", "std", 0, api.State.UP) for number in range(1, 9)),
+            )
+        )
         if kind != "off":
             floor = Floor("a", "p", Timings())
             if kind != "no contract":
@@ -72,8 +85,21 @@
 
     @staticmethod
     def _stake(floor: Floor, customer: int) -> None:
-        facts = {"versions": [{"holds_from_ms": 0.0, "rate": 1e6, "burst": 1e6, "times": [(0.0, math.inf)],
-                               "customers": [customer]}], "contract": "peak", "tenant": "t", "rank": 1, "hall": ""}
+        facts = {
+            "versions": [
+                {
+                    "holds_from_ms": 0.0,
+                    "rate": 1e6,
+                    "burst": 1e6,
+                    "times": [(0.0, math.inf)],
+                    "customers": [customer],
+                }
+            ],
+            "contract": "peak",
+            "tenant": "t",
+            "rank": 1,
+            "hall": "",
+        }
         floor._learn(0.0, 1, [facts])
         one: Stake = floor.stakes["peak"]
         one.part = one.cap = one.level = one.fair = one.wish = 1e9
--- a/lab/customers.py
+++ b/lab/customers.py
@@ -36,6 +36,14 @@
         for _ in range(crowd.count):
             rate = rng.uniform(*crowd.demand) * plan.rate / (sum(crowd.units) / 2) / 1000.0
             spread = min(rng.randint(*crowd.spread), scenario.gateways)
-            made.append(Customer(rng.getrandbits(32), crowd, rate, spread,
-                                 rng.randrange(scenario.gateways), rng.uniform(0, crowd.shifts_ms)))
+            made.append(
+                Customer(
+                    rng.getrandbits(32),
+                    crowd,
+                    rate,
+                    spread,
+                    rng.randrange(scenario.gateways),
+                    rng.uniform(0, crowd.shifts_ms),
+                )
+            )
     return made
