--- a/lab/fleet/checker.py
+++ b/lab/fleet/checker.py
@@ -1,9 +1,11 @@
-"""The referee of a fleet's promises: it believes only the calls that it saw, the messages on the network, and the disks.
-
-A promise swaps a register: the answer is the value before.  Each value is written once, so the history of a key has to
-be linear (Herlihy and Wing, 1990; searched as by Wing and Gong, 1993, with a memory of what was tried): every answered
-call takes effect at one moment between its first invocation and its answer, one of unknown outcome at some moment or
-never, and one that was refused never.  A key whose search passes `MOST_STEPS` is told as undecided, which is not good.
+"""The referee of a fleet's promises: it believes only the calls that it saw, the messages on the network, and
+the disks.
+
+A promise swaps a register: the answer is the value before.  Each value is written once, so the history of a
+key has to be linear (Herlihy and Wing, 1990; searched as by Wing and Gong, 1993, with a memory of what was
+tried): every answered call takes effect at one moment between its first invocation and its answer, one of
+unknown outcome at some moment or never, and one that was refused never.  A key whose search passes
+`MOST_STEPS` is told as undecided, which is not good.
 """
 
 from __future__ import annotations
@@ -50,9 +52,10 @@
 def linear(ops: list[Op], first: str | None = None) -> bool | None:
     """Whether the calls of one key can be put in an order that explains every answer; None: undecided.
 
-    An answered swap names the value that it took the place of, so it alone can come next where that value stands, and
-    all reads of the value lie between.  What is searched is only where writes of unknown outcome go.  An order is good
-    when no call ends before one that stands earlier in it was invoked: `latest` is the last such invocation.
+    An answered swap names the value that it took the place of, so it alone can come next where that value
+    stands, and all reads of the value lie between.  What is searched is only where writes of unknown outcome
+    go.  An order is good when no call ends before one that stands earlier in it was invoked: `latest` is the
+    last such invocation.
     """
     after: dict[str | None, Op] = {}
     reads: dict[str | None, list[Op]] = {}
@@ -68,11 +71,15 @@
         else:
             after[op.result] = op
     # An unanswered write that nobody saw may have been no write at all, and an unanswered read says nothing.
-    loose = sorted((op for op in ops if op.fate == "unknown" and op.value is not None and op.value in seen),
-                   key=lambda op: op.invoked)
+    loose = sorted(
+        (op for op in ops if op.fate == "unknown" and op.value is not None and op.value in seen),
+        key=lambda op: op.invoked,
+    )
     wanted = len(seen | {op.value for op in after.values()})
     tried: dict[tuple[str | None, int], float] = {}
-    stack: list[tuple[str | None, int, float, int]] = [(first, 0, -math.inf, 1)]  # value, loose placed, latest, values
+    stack: list[tuple[str | None, int, float, int]] = [
+        (first, 0, -math.inf, 1)
+    ]  # value, loose placed, latest, values
     steps = 0
     while stack:
         value, placed, latest, values = stack.pop()
@@ -93,8 +100,11 @@
             if following is None:
                 if values >= wanted:
                     return True
-                stack += [(op.value, placed | 1 << at, max(latest, op.invoked), values + 1)
-                          for at, op in reversed(list(enumerate(loose))) if not placed >> at & 1]
+                stack += [
+                    (op.value, placed | 1 << at, max(latest, op.invoked), values + 1)
+                    for at, op in reversed(list(enumerate(loose)))
+                    if not placed >> at & 1
+                ]
                 break
             if following.returned < latest:
                 break
@@ -142,12 +152,18 @@
     last = max((op.invoked for op in ops if op.value is None and op.fate == "answered"), default=math.inf)
     final = {op.result for op in ops if op.value is None and op.fate == "answered" and op.invoked == last}
     open_ones = sum(op.fate == "unknown" and op.value is not None for op in ops)
-    left = [op for op in ops if op.value is not None and op.fate == "answered"
-            and op.value not in before and op.value not in final]
+    left = [
+        op
+        for op in ops
+        if op.value is not None and op.fate == "answered" and op.value not in before and op.value not in final
+    ]
     return max(len(left) - open_ones, 0) if final else 0
 
 
 def _tail(ops: list[Op], most: int = 14) -> str:
     told = sorted(ops, key=lambda op: op.invoked)[-most:]
-    return "; ".join(f"{'read' if op.value is None else 'put ' + op.value} {op.invoked:.0f}..{op.returned:.0f} "
-                     f"{op.fate} {op.result}" for op in told)
+    return "; ".join(
+        f"{'read' if op.value is None else 'put ' + op.value} {op.invoked:.0f}..{op.returned:.0f} "
+        f"{op.fate} {op.result}"
+        for op in told
+    )
--- a/lab/fleet/clock.py
+++ b/lab/fleet/clock.py
@@ -1,7 +1,8 @@
-"""A member's clocks: a monotonic one whose rate lies within the stated drift, and a wall clock that can be stepped.
+"""A member's clocks: a monotonic one whose rate lies within the stated drift, and a wall clock that can be
+stepped.
 
-A process anchors the wall clock to the monotonic one when it starts, as the product does: a step shows at the next
-start alone.  `true` is the referee's time, ms since the world began.
+A process anchors the wall clock to the monotonic one when it starts, as the product does: a step shows at the
+next start alone.  `true` is the referee's time, ms since the world began.
 """
 
 from __future__ import annotations
--- a/lab/fleet/disk.py
+++ b/lab/fleet/disk.py
@@ -1,8 +1,9 @@
-"""A member's simulated store: what is asked for becomes durable with the next fsync, and a crash loses the rest.
+"""A member's simulated store: what is asked for becomes durable with the next fsync, and a crash loses the
+rest.
 
-One fsync is under way at a time and takes all that was asked before it began.  At a crash a prefix of what was under
-way may have come through.  A wiped or damaged store begins anew with another incarnation, as the product's does; a full
-one breaks.  Bounds: none of its own; what is asked is what the nodes ask.
+One fsync is under way at a time and takes all that was asked before it began.  At a crash a prefix of what
+was under way may have come through.  A wiped or damaged store begins anew with another incarnation, as the
+product's does; a full one breaks.  Bounds: none of its own; what is asked is what the nodes ask.
 """
 
 from __future__ import annotations
@@ -14,7 +15,18 @@
 import msgspec
 
 from fleet.errors import StoreFailed
-from fleet.events import Entries, Forget, HardState, NodeEvent, Record, Saved, Snapshot, Store, StoreBroke, Stored
+from fleet.events import (
+    Entries,
+    Forget,
+    HardState,
+    NodeEvent,
+    Record,
+    Saved,
+    Snapshot,
+    Store,
+    StoreBroke,
+    Stored,
+)
 from fleet.messages import CONFIG, Config, Entry
 from lab.fleet.network import Calendar
 
@@ -58,7 +70,7 @@
                 held = self.entries
                 cut = bool(held) and first <= held[-1].index
                 if cut:
-                    del held[max(first - held[0].index, 0):]
+                    del held[max(first - held[0].index, 0) :]
                 held.extend(record.entries)
                 self._name(held if cut and self.config_at >= first else record.entries)
         elif isinstance(record, HardState):
@@ -66,8 +78,9 @@
         elif isinstance(record, Snapshot):
             matches, before = self.at(record.index), self.snapshot
             # A log that goes on from the snapshot keeps its tail; another's tail goes with what lay before.
-            keep = ((matches is not None and matches.term == record.term)
-                    or (before is not None and (before.index, before.term) == (record.index, record.term)))
+            keep = (matches is not None and matches.term == record.term) or (
+                before is not None and (before.index, before.term) == (record.index, record.term)
+            )
             self.snapshot = record
             self.entries = [entry for entry in self.entries if entry.index > record.index] if keep else []
             if not keep or self.config_at <= record.index:
@@ -104,14 +117,20 @@
     def start(self, life: int) -> dict[str, Saved]:
         """A process opens it."""
         self._life = life
-        return {name: Saved(kept.term, kept.vote, kept.snapshot, tuple(kept.entries))
-                for name, kept in sorted(self.groups.items())}
+        return {
+            name: Saved(kept.term, kept.vote, kept.snapshot, tuple(kept.entries))
+            for name, kept in sorted(self.groups.items())
+        }
 
     def put(self, store: Store) -> None:
         """The running process wants this on stable storage."""
         if self.full:
-            self._calendar.at(self._calendar.now + 0.1, self._tell, self._life,
-                              StoreBroke(StoreFailed(store.group, "no space left on device")))
+            self._calendar.at(
+                self._calendar.now + 0.1,
+                self._tell,
+                self._life,
+                StoreBroke(StoreFailed(store.group, "no space left on device")),
+            )
             return
         self._asked.append(store)
         if not self._under_way:
@@ -142,13 +161,14 @@
 
     def crash(self) -> None:
         """The process is gone; a prefix of what was under way may be durable."""
-        for store in self._under_way[:self._draw.randint(0, len(self._under_way))]:
+        for store in self._under_way[: self._draw.randint(0, len(self._under_way))]:
             self._write(store)
         self._asked, self._under_way = [], []
         self._life = -1
 
     def wipe(self) -> None:
-        """The machine is lost with its disk, or the store reads as damaged: another store, another incarnation."""
+        """The machine is lost with its disk, or the store reads as damaged: another store, another
+        incarnation."""
         self.lost[self.incarnation] = self.groups
         self.groups, self.full = {}, False
         self.incarnation = self._drawn()
--- a/lab/fleet/drawn.py
+++ b/lab/fleet/drawn.py
@@ -31,8 +31,11 @@
 
     def plain(self) -> dict[str, Any]:
         """As plain values."""
-        return {"seed": self.plan.seed, "figures": self.figures.plain(),
-                "findings": [[one.name, one.at_ms, one.facts] for one in self.findings]}
+        return {
+            "seed": self.plan.seed,
+            "figures": self.figures.plain(),
+            "findings": [[one.name, one.at_ms, one.facts] for one in self.findings],
+        }
 
 
 def play(plan: Plan, make: MakeWorld = FleetWorld) -> Played:
@@ -48,8 +51,9 @@
 
 
 def shrink(plan: Plan, make: MakeWorld = FleetWorld, most: int = 200) -> Played:
-    """The smallest plan found that still fails by one of the names that `plan` fails by: faults dropped greedily,
-    first in halves and then one by one, the length cut behind the finding; at most so many plays."""
+    """The smallest plan found that still fails by one of the names that `plan` fails by: faults dropped
+    greedily, first in halves and then one by one, the length cut behind the finding; at most so many
+    plays."""
     best = play(plan, make)
     wanted = set(best.names)
     if not wanted:
@@ -69,7 +73,9 @@
 
     if best.findings:
         fails(replace(best.plan, length_ms=min(best.plan.length_ms, best.findings[0].at_ms + 200.0)))
-    fails(replace(best.plan, faults=tuple(one for one in best.plan.faults if one.at_ms <= best.plan.length_ms)))
+    fails(
+        replace(best.plan, faults=tuple(one for one in best.plan.faults if one.at_ms <= best.plan.length_ms))
+    )
     size = max(len(best.plan.faults) // 2, 1)
     while size:
         for tried in _without(best.plan, size):
@@ -78,7 +84,14 @@
         else:
             size //= 2
         size = min(size, len(best.plan.faults))
-    for change in ({"halls": 1}, {"groups": 1}, {"groups": 2}, {"keys": 1}, {"copies": 3}, {"proposals": 5.0}):
+    for change in (
+        {"halls": 1},
+        {"groups": 1},
+        {"groups": 2},
+        {"keys": 1},
+        {"copies": 3},
+        {"proposals": 5.0},
+    ):
         if any(getattr(best.plan, key) != value for key, value in change.items()):
             fails(replace(best.plan, **change))
     return best
@@ -86,15 +99,24 @@
 
 def _without(plan: Plan, size: int) -> Iterator[Plan]:
     for at in range(0, len(plan.faults), size):
-        yield replace(plan, faults=plan.faults[:at] + plan.faults[at + size:])
+        yield replace(plan, faults=plan.faults[:at] + plan.faults[at + size :])
 
 
 def plan_of(scenario: Scenario, seed: int) -> Plan:
     """A scenario's fleet as a plan."""
-    return Plan(seed, scenario.gateways, scenario.halls, scenario.copies, length_ms=scenario.length_ms,
-                proposals=scenario.proposals, contracts=scenario.contracts, rolls=scenario.rolls,
-                connections=scenario.connections, servers=scenario.servers if scenario.connections else 0,
-                faults=tuple(one for one in scenario.faults if one.target in ("gateway", "gateways")))
+    return Plan(
+        seed,
+        scenario.gateways,
+        scenario.halls,
+        scenario.copies,
+        length_ms=scenario.length_ms,
+        proposals=scenario.proposals,
+        contracts=scenario.contracts,
+        rolls=scenario.rolls,
+        connections=scenario.connections,
+        servers=scenario.servers if scenario.connections else 0,
+        faults=tuple(one for one in scenario.faults if one.target in ("gateway", "gateways")),
+    )
 
 
 def play_scenario(scenario: Scenario, seed: int, make: MakeWorld = FleetWorld) -> FleetFigures:
--- a/lab/fleet/figures.py
+++ b/lab/fleet/figures.py
@@ -16,7 +16,9 @@
     leaders_in_a_term: int | None = None  # the most, over all groups
     unavailable_ms: float | None = None  # longest without an acknowledgement while a majority was joined
     copies_restored_ms: float | None = None  # the longest, from a loss until all copies are whole again
-    contract_floor: float | None = None  # least share of a contract's rate served over a second that asked for it
+    contract_floor: float | None = (
+        None  # least share of a contract's rate served over a second that asked for it
+    )
     contract_over: float | None = None  # most by which leases passed the contract, units a second
     shortfall_error: float | None = None  # told against true units short
     lent_share: float | None = None  # capacity used of that offered while reserved capacity was idle
@@ -28,12 +30,23 @@
 
     def plain(self) -> dict[str, Any]:
         """As plain values, rounded, in a fixed order."""
-        return {key: round(value, 4) if isinstance(value, float) else value for key, value in asdict(self).items()}
+        return {
+            key: round(value, 4) if isinstance(value, float) else value for key, value in asdict(self).items()
+        }
 
     def bad(self) -> list[str]:
         """The keys that break a promise whatever was done to the fleet."""
-        found = [key for key in ("promises_lost", "promises_twice", "connections_over", "roll_lost",
-                                 "invariants_broken") if getattr(self, key)]
+        found = [
+            key
+            for key in (
+                "promises_lost",
+                "promises_twice",
+                "connections_over",
+                "roll_lost",
+                "invariants_broken",
+            )
+            if getattr(self, key)
+        ]
         if (self.leaders_in_a_term or 0) > 1:
             found.append("leaders_in_a_term")
         if (self.contract_over or 0.0) > 1e-6:
--- a/lab/fleet/gateway.py
+++ b/lab/fleet/gateway.py
@@ -1,10 +1,10 @@
-"""What surrounds a fleet's lease holders in simulated time: tenants' traffic, servers that hold so many connections,
-rolls.
+"""What surrounds a fleet's lease holders in simulated time: tenants' traffic, servers that hold so many
+connections, rolls.
 
-The referee's side of it counts what truly happens: units drawn and asked for, parts that holders believe in (each by
-its own clock) at every moment at which one changes, connections that each server has open, queries that ended without
-an answer.  A killed process's connections are reset by its machine; a lost machine's stay until the server's idle time
-has gone by.
+The referee's side of it counts what truly happens: units drawn and asked for, parts that holders believe in
+(each by its own clock) at every moment at which one changes, connections that each server has open, queries
+that ended without an answer.  A killed process's connections are reset by its machine; a lost machine's stay
+until the server's idle time has gone by.
 """
 
 from __future__ import annotations
@@ -118,11 +118,15 @@
         self.told_short: dict[str, float] = {}
         self.on = bool(plan.contracts or plan.rolls or plan.connections)
         self.away: set[str] = set()  # gateways that a roll has ended and that are not back
-        self._missing: dict[tuple[str, str], float] = {}  # copies by group and Id, as the disks show, since when
+        self._missing: dict[
+            tuple[str, str], float
+        ] = {}  # copies by group and Id, as the disks show, since when
         self.drained: dict[tuple[str, str], int] = {}  # roll, gateway -> processes that a roll ended
         self._kills = {text.name: list(text.kill_leader) for text in plan.rolls}
         self._left_at: dict[str, float] = {}  # when a roll ended a gateway whose copies are not back
-        self._emptied: dict[str, float] = {}  # the time that a gateway took from its pause until nothing was open
+        self._emptied: dict[
+            str, float
+        ] = {}  # the time that a gateway took from its pause until nothing was open
         self._killed_at = -math.inf  # the last scheduler
         self._waves: list[float] = []  # each restart by a roll, without the schedule's own time
         self._asked_at: dict[str, float] = {}
@@ -140,9 +144,13 @@
         side = self.sides[machine.name] = Side(
             machine.life,
             Floor(machine.id, str(machine.life), world.timings, machine.hall, world.plan.members),
-            Keeper(who, world.timings, world.rules, now, alone=True), Rolled(machine.name, who))
+            Keeper(who, world.timings, world.rules, now, alone=True),
+            Rolled(machine.name, who),
+        )
         side.floor.wake = partial(self._later, world.nudge, machine.name, side.life)
-        self._calendar.at(self._calendar.now + self.draw.uniform(1.0, PUMP_MS), self._pump, machine.name, side.life)
+        self._calendar.at(
+            self._calendar.now + self.draw.uniform(1.0, PUMP_MS), self._pump, machine.name, side.life
+        )
         return [side.floor, side.keeper, side.rolled]
 
     def ended(self, machine: Machine, lost: bool) -> None:
@@ -202,7 +210,7 @@
             conns = [conn for conn in side.conns.get(server, ()) if conn.open_here]
             keeper.want(server, need)
             if keeper.held(now, server):
-                for conn in conns[:max(need, 1)]:
+                for conn in conns[: max(need, 1)]:
                     conn.used = true
             if keeper.leaving or drained:
                 for conn in conns[need:]:
@@ -236,8 +244,11 @@
         over = len(there) - self.world.plan.connections
         if over > self.connections_over:
             self.connections_over = over
-            self.world.found("connections-over", f"{conn.server}: {len(there)} open of {self.world.plan.connections}, "
-                             f"by {[one.owner for one in there]}")
+            self.world.found(
+                "connections-over",
+                f"{conn.server}: {len(there)} open of {self.world.plan.connections}, "
+                f"by {[one.owner for one in there]}",
+            )
         self._calendar.at(self._calendar.now + self.world.idle_ms, self._idle, conn)
         if not conn.open_here and not conn.gone:  # its process has ended since
             self._later(self._let_go, conn)
@@ -275,8 +286,15 @@
         first, last = text.customers
         count = min(self.world.plan.members, 3)
         doors = tuple(self.draw.sample(range(self.world.plan.members), count))
-        return Deal(text, Book(text.rate, text.burst), tuple(range(first, last + 1)), f"t{first}", doors,
-                    self.draw.uniform(8000.0, 20_000.0), level=text.burst)
+        return Deal(
+            text,
+            Book(text.rate, text.burst),
+            tuple(range(first, last + 1)),
+            f"t{first}",
+            doors,
+            self.draw.uniform(8000.0, 20_000.0),
+            level=text.burst,
+        )
 
     def begin(self) -> None:
         """Propose, ask for rolls, and let the traffic come."""
@@ -292,9 +310,18 @@
 
     def _propose(self, deal: Deal, tries: int) -> None:
         text = deal.text
-        command = Propose(id=f"lab/{text.name}", contract=text.name, terms=Terms(
-            deal.tenant, deal.customers, text.rate, text.burst,
-            (Window(UNIX_MS + text.from_ms, UNIX_MS + text.to_ms),), rank=min(text.importance, 9)))
+        command = Propose(
+            id=f"lab/{text.name}",
+            contract=text.name,
+            terms=Terms(
+                deal.tenant,
+                deal.customers,
+                text.rate,
+                text.burst,
+                (Window(UNIX_MS + text.from_ms, UNIX_MS + text.to_ms),),
+                rank=min(text.importance, 9),
+            ),
+        )
 
         def told(result: Any) -> None:
             if isinstance(result, Applied) and result.error is None:
@@ -340,15 +367,20 @@
         for step in range(len(names)):
             name = names[(door + step) % len(names)]
             side = self.sides.get(name)
-            if side is not None and self.world.machines[name].up and (
-                    side.paused_at > self._calendar.now - FRONT_MS and not side.leaving):
+            if (
+                side is not None
+                and self.world.machines[name].up
+                and (side.paused_at > self._calendar.now - FRONT_MS and not side.leaving)
+            ):
                 return name
         return None
 
     def _cut(self, name: str) -> bool:
         """Whether a gateway hears, or is heard by, no more than half of the fleet."""
         names, cuts = list(self.world.machines), self.world.network.cuts
-        return 2 * sum((name, other) not in cuts and (other, name) not in cuts for other in names) <= len(names)
+        return 2 * sum((name, other) not in cuts and (other, name) not in cuts for other in names) <= len(
+            names
+        )
 
     def _served(self, token: tuple[Deal, float, tuple[int, bool]]) -> None:
         deal, units, asked = token
@@ -396,6 +428,7 @@
 
     def finish(self) -> None:
         """Ask what is told of units short."""
+
         def told(result: Any) -> None:
             if isinstance(result, Applied) and result.error is None:
                 for facts in result.value["contracts"].values():
@@ -415,8 +448,14 @@
 
     def shortfall_error(self) -> float | None:
         """Told against true units short."""
-        return max((deal.book.error(self.told_short.get(deal.text.name, 0.0)) for deal in self.deals if deal.admitted),
-                   default=None)
+        return max(
+            (
+                deal.book.error(self.told_short.get(deal.text.name, 0.0))
+                for deal in self.deals
+                if deal.admitted
+            ),
+            default=None,
+        )
 
     def lent_share(self) -> float | None:
         """Of what was reserved and idle, what gateways offered to others."""
@@ -435,12 +474,20 @@
             self._flights += 1
             side = self.sides[name]
             side.flights.add(self._flights)
-            self._calendar.at(self._calendar.now + self.draw.uniform(*WORK_MS), side.flights.discard, self._flights)
+            self._calendar.at(
+                self._calendar.now + self.draw.uniform(*WORK_MS), side.flights.discard, self._flights
+            )
 
     def _ask_roll(self, text: RollText, tries: int) -> None:
-        command = RollAsk(id=f"lab/{text.name}", roll=text.name, at_once=text.at_once,
-                          gateways=tuple(f"g{number}" for number in text.gateways), reason="laboratory",
-                          deadline_ms=10_000.0, warm_ms=WARM_MS)
+        command = RollAsk(
+            id=f"lab/{text.name}",
+            roll=text.name,
+            at_once=text.at_once,
+            gateways=tuple(f"g{number}" for number in text.gateways),
+            reason="laboratory",
+            deadline_ms=10_000.0,
+            warm_ms=WARM_MS,
+        )
         self.roll_states.setdefault(text.name, "not asked")
 
         def told(result: Any) -> None:
@@ -458,8 +505,9 @@
     def _read_roll(self, text: RollText) -> None:
         def told(result: Any) -> None:
             if isinstance(result, Applied) and result.error is None:
-                self.roll_states.update({one["roll"]: one["state"] for one in result.value
-                                         if one["roll"] == text.name})
+                self.roll_states.update(
+                    {one["roll"]: one["state"] for one in result.value if one["roll"] == text.name}
+                )
             if self.roll_states[text.name] not in ("done", "failed", "cancelled") and not self.world.over:
                 self._calendar.at(self._calendar.now + READ_MS, self._read_roll, text)
             elif self.roll_states[text.name] == "done":
@@ -468,12 +516,16 @@
         self._call(RollsRead(id="lab/roll"), told)
 
     def _rolled(self, text: RollText) -> None:
-        """How long it took, against the least that the limits allow with waves as long as those of this roll."""
+        """How long it took, against the least that the limits allow with waves as long as those of this
+        roll."""
         if not self._waves:
             return
         world, names = self.world, [f"g{number}" for number in text.gateways]
-        groups = {group: tuple(map(name_of, config.voters)) for group in world.groups()
-                  if (config := world.config(group)) is not None}
+        groups = {
+            group: tuple(map(name_of, config.voters))
+            for group in world.groups()
+            if (config := world.config(group)) is not None
+        }
         halls = {name: machine.hall for name, machine in world.machines.items()}
         least = least_ms(names, groups, halls, text.at_once, 0.0, sum(self._waves) / len(self._waves))
         self.roll_ratio = (self._calendar.now - self._asked_at[text.name]) / least
@@ -482,7 +534,12 @@
         """Kill who schedules a roll, when first a gateway stands where the plan says."""
         for name, machine in self.world.machines.items():
             node = machine.node
-            if node is None or not machine.up or FLEET not in node.replicas or not node.replicas[FLEET].leading:
+            if (
+                node is None
+                or not machine.up
+                or FLEET not in node.replicas
+                or not node.replicas[FLEET].leading
+            ):
                 continue
             roll = node.states[FLEET].parts["rolls"].active
             if roll is None:
@@ -502,8 +559,11 @@
         if self.world.plan.rolls:
             self._schedulers()
             # Whoever a roll has ended is away by right: its copies are not what is missing.
-            self._missing = {at: self._missing.get(at, self._calendar.now) for at in self.world.missing()
-                             if name_of(at[1]) not in self.away}
+            self._missing = {
+                at: self._missing.get(at, self._calendar.now)
+                for at in self.world.missing()
+                if name_of(at[1]) not in self.away
+            }
 
     def half_drained(self) -> list[str]:
         """Gateways that turn clients away."""
@@ -520,16 +580,25 @@
         node.lead_nothing = rolled.lead_nothing
         groups = node.replicas.items()
         drained = rolled.paused and side.paused_at < true - FRONT_MS
-        whole = all(one.whole for group, one in groups
-                    if (config := self.world.config(group)) is not None and machine.id in config.voters)
+        whole = all(
+            one.whole
+            for group, one in groups
+            if (config := self.world.config(group)) is not None and machine.id in config.voters
+        )
         if whole and not side.leaving and machine.name in self._left_at:
-            self._waves.append(self._emptied.pop(machine.name) + true - self._left_at.pop(machine.name) + WARM_MS)
+            self._waves.append(
+                self._emptied.pop(machine.name) + true - self._left_at.pop(machine.name) + WARM_MS
+            )
         empty = not side.flights and keeper.empty
         if drained and empty and not side.leaving:
             self._emptied.setdefault(machine.name, true - side.paused_at)
-        rolled.tell(leads=sum(one.leading for _, one in groups),
-                    trimmed=all(pool.open - pool.closing <= pool.need for pool in keeper.pools.values()),
-                    drained=drained, empty=empty, whole=whole)
+        rolled.tell(
+            leads=sum(one.leading for _, one in groups),
+            trimmed=all(pool.open - pool.closing <= pool.need for pool in keeper.pools.values()),
+            drained=drained,
+            empty=empty,
+            whole=whole,
+        )
         for duty in rolled.duties(now):
             if duty is Duty.PAUSE:
                 side.paused_at = true
@@ -547,7 +616,8 @@
                 if len(self.away) > max(text.at_once for text in self.world.plan.rolls):
                     self.world.found("two-waves", f"{sorted(self.away)} by {roll}")
                 here = self.world.missing()
-                # A step on its way when its scheduler was killed takes effect under the next, by what was so then.
+                # A step on its way when its scheduler was killed takes effect under the next, by what was so
+                # then.
                 judged = self._killed_at if true - self._killed_at < DOWN_MS + STALE_MS else true
                 late = [at for at, since in self._missing.items() if judged - since > STALE_MS and at in here]
                 if late:
@@ -558,6 +628,8 @@
         def left(result: Any) -> None:
             if machine.life == life:
                 self.world.kill(machine.name)
-                self._calendar.at(self._calendar.now + self.draw.uniform(*ACT_MS), self.world.start, machine.name)
+                self._calendar.at(
+                    self._calendar.now + self.draw.uniform(*ACT_MS), self.world.start, machine.name
+                )
 
         self.world.leave(machine.name, left)
--- a/lab/fleet/network.py
+++ b/lab/fleet/network.py
@@ -1,9 +1,10 @@
 """The calendar of a simulated fleet, and the links between its members.
 
-Events lie on a heap in order of time and of their making; all chance comes from one seeded Random.  A link carries
-envelopes in order, as a TCP stream does, until it is reset: then what was under way is lost, or comes after what the
-next connection brings.  A cut loses what is sent meanwhile, but for a few envelopes (`MOST_KEPT` a link, the oldest go)
-that a kernel may still hold and bring long after.  Times in ms, sizes in bytes.
+Events lie on a heap in order of time and of their making; all chance comes from one seeded Random.  A link
+carries envelopes in order, as a TCP stream does, until it is reset: then what was under way is lost, or comes
+after what the next connection brings.  A cut loses what is sent meanwhile, but for a few envelopes
+(`MOST_KEPT` a link, the oldest go) that a kernel may still hold and bring long after.  Times in ms, sizes in
+bytes.
 """
 
 from __future__ import annotations
@@ -60,8 +61,13 @@
     What is wrong with a link stands in the tables: `cuts`, `delays` (ms more, one way), `resets` (a second),
     `narrow` (bytes a ms); `loss` and `twice` are chances of an envelope on any link."""
 
-    def __init__(self, calendar: Calendar, draw: Random, deliver: Callable[[str, str, Any], None],
-                 hop_ms: tuple[float, float] = (0.2, 1.0)) -> None:
+    def __init__(
+        self,
+        calendar: Calendar,
+        draw: Random,
+        deliver: Callable[[str, str, Any], None],
+        hop_ms: tuple[float, float] = (0.2, 1.0),
+    ) -> None:
         self._calendar, self._draw, self._deliver, self.hop_ms = calendar, draw, deliver, hop_ms
         self.cuts: set[Pair] = set()
         self.delays: dict[Pair, float] = {}
@@ -101,7 +107,9 @@
         self._last[pair] = there
         self._calendar.at(there, self._arrive, pair, self._life.get(pair, 0), what)
         if self.twice and draw.random() < self.twice:
-            self._calendar.at(there + draw.uniform(0.0, 50.0), self._arrive, pair, self._life.get(pair, 0), what)
+            self._calendar.at(
+                there + draw.uniform(0.0, 50.0), self._arrive, pair, self._life.get(pair, 0), what
+            )
 
     def _arrive(self, pair: Pair, life: int, what: Any) -> None:
         if pair in self.cuts:
@@ -110,7 +118,9 @@
             if self._draw.random() < 0.5:
                 return
             if self._draw.random() < 0.5:  # the old connection is read after the new one
-                self._calendar.at(self._calendar.now + self._draw.uniform(0.0, 20.0), self._deliver, *pair, what)
+                self._calendar.at(
+                    self._calendar.now + self._draw.uniform(0.0, 20.0), self._deliver, *pair, what
+                )
                 return
         self._deliver(*pair, what)
 
@@ -127,21 +137,33 @@
         """End them so many times a second, each at its own moments, until the next mend."""
         for pair in pairs:
             self.resets[pair] = rate
-            self._calendar.at(self._calendar.now + 1000.0 * self._draw.expovariate(rate), self._reset_again,
-                              pair, rate, self._since)
+            self._calendar.at(
+                self._calendar.now + 1000.0 * self._draw.expovariate(rate),
+                self._reset_again,
+                pair,
+                rate,
+                self._since,
+            )
 
     def _reset_again(self, pair: Pair, rate: float, since: int) -> None:
         if self._since == since and self.resets.get(pair) == rate:
             self.reset(pair)
-            self._calendar.at(self._calendar.now + 1000.0 * self._draw.expovariate(rate), self._reset_again,
-                              pair, rate, since)
+            self._calendar.at(
+                self._calendar.now + 1000.0 * self._draw.expovariate(rate),
+                self._reset_again,
+                pair,
+                rate,
+                since,
+            )
 
     def mend(self) -> None:
         """All links are whole again; some of what the cut ones were given comes now."""
         for pair in sorted(self.cuts):
             self.reset(pair)
             for what in self._kept.pop(pair, []):
-                self._calendar.at(self._calendar.now + self._draw.uniform(0.0, 300.0), self._deliver, *pair, what)
+                self._calendar.at(
+                    self._calendar.now + self._draw.uniform(0.0, 300.0), self._deliver, *pair, what
+                )
         self._kept.clear()
         for table in (self.cuts, self.delays, self.resets, self.narrow):
             table.clear()
--- a/lab/fleet/soak.py
+++ b/lab/fleet/soak.py
@@ -30,20 +30,34 @@
         for name in row["names"]:
             names.setdefault(name, []).append(row["seed"])
     made: dict[str, Any] = {
-        "seeds": len(rows), "failed": sum(bool(row["names"]) for row in rows), "by": names,
-            "first": {name: next((f for f in row["findings"] if f[0] == name), None)
-                      for name in names for row in rows if row["seed"] == names[name][0]},
-            "figures": spread([row["figures"] for row in rows]), "kinds": {}}
+        "seeds": len(rows),
+        "failed": sum(bool(row["names"]) for row in rows),
+        "by": names,
+        "first": {
+            name: next((f for f in row["findings"] if f[0] == name), None)
+            for name in names
+            for row in rows
+            if row["seed"] == names[name][0]
+        },
+        "figures": spread([row["figures"] for row in rows]),
+        "kinds": {},
+    }
     for kind in KINDS:
         mine = [row for row in rows if row["kind"] == kind]
         if mine:
             figures = [row["figures"] for row in mine]
             made["kinds"][kind] = {
-                "seeds": len(mine), "failed": sum(bool(row["names"]) for row in mine),
+                "seeds": len(mine),
+                "failed": sum(bool(row["names"]) for row in mine),
                 "unavailable_ms": spread(figures)["unavailable_ms"],
                 "copies_restored_ms": spread(figures)["copies_restored_ms"],
-                "slow_seeds": [row["seed"] for row in mine if (row["figures"]["unavailable_ms"] or 0) > UNAVAILABLE_MS
-                               or (row["figures"]["copies_restored_ms"] or 0) > RESTORED_MS][:20]}
+                "slow_seeds": [
+                    row["seed"]
+                    for row in mine
+                    if (row["figures"]["unavailable_ms"] or 0) > UNAVAILABLE_MS
+                    or (row["figures"]["copies_restored_ms"] or 0) > RESTORED_MS
+                ][:20],
+            }
     return made
 
 
@@ -55,7 +69,9 @@
     wanted.add_argument("--jobs", type=int, default=0, help="processes; 0: one for each core")
     wanted.add_argument("--members", type=int, default=0, help="0: drawn")
     wanted.add_argument("--kind", choices=KINDS, default="")
-    wanted.add_argument("--shrink", action="store_true", help="print the smallest plan of the first failing seed")
+    wanted.add_argument(
+        "--shrink", action="store_true", help="print the smallest plan of the first failing seed"
+    )
     got = wanted.parse_args(given)
     seeds = range(got.first, got.first + got.seeds)
     play = partial(one, members=got.members, kind=got.kind)
@@ -68,8 +84,12 @@
     failed = [row["seed"] for row in rows if row["names"]]
     if failed and got.shrink:
         small = shrink(draw(failed[0], got.members, got.kind))
-        print(small.plan.text(), *(f"{found.name} at {found.at_ms}: {found.facts}" for found in small.findings),
-              sep="\n", file=sys.stderr)
+        print(
+            small.plan.text(),
+            *(f"{found.name} at {found.at_ms}: {found.facts}" for found in small.findings),
+            sep="\n",
+            file=sys.stderr,
+        )
     return 1 if failed else 0
 
 
--- a/lab/fleet/world.py
+++ b/lab/fleet/world.py
@@ -1,8 +1,8 @@
 """A fleet in simulated time: the product's nodes on simulated links, clocks and stores, under a random load.
 
-Nothing reads a clock and all chance comes from the seed, each part from a Random of its own: the same plan gives the
-same bytes, in whatever process.  The referee sees the calls, each message on its way and what is durable on each disk;
-it asks no node what it believes.
+Nothing reads a clock and all chance comes from the seed, each part from a Random of its own: the same plan
+gives the same bytes, in whatever process.  The referee sees the calls, each message on its way and what is
+durable on each disk; it asks no node what it believes.
 """
 
 from __future__ import annotations
@@ -101,13 +101,29 @@
         self.machines: dict[str, Machine] = {}
         for member in members:
             half = plan.drift / 2.0
-            clock = Clock(1.0 + clocks.uniform(-half, half), clocks.uniform(1e5, 1e8), clocks.uniform(-2000.0, 2000.0))
+            clock = Clock(
+                1.0 + clocks.uniform(-half, half), clocks.uniform(1e5, 1e8), clocks.uniform(-2000.0, 2000.0)
+            )
             disk = Disk(self.calendar, disks, partial(self._stored, member.name))
             disk.fsync_ms = plan.fsync_ms
-            self.machines[member.name] = Machine(member.name, member.hall, clock, disk, Setup(
-                "lab", member.name, disk.incarnation, members, plan.copies, plan.groups, self.timings,
-                capacity=4.0 * sum(text.rate for text in plan.contracts),
-                servers={f"s{number + 1}": plan.connections for number in range(plan.servers)}, idle_ms=self.idle_ms))
+            self.machines[member.name] = Machine(
+                member.name,
+                member.hall,
+                clock,
+                disk,
+                Setup(
+                    "lab",
+                    member.name,
+                    disk.incarnation,
+                    members,
+                    plan.copies,
+                    plan.groups,
+                    self.timings,
+                    capacity=4.0 * sum(text.rate for text in plan.contracts),
+                    servers={f"s{number + 1}": plan.connections for number in range(plan.servers)},
+                    idle_ms=self.idle_ms,
+                ),
+            )
         self.findings: list[Finding] = []
         self.over = False
         self.ops: list[Op] = []
@@ -117,7 +133,9 @@
         self._leaders: dict[tuple[str, int], str] = {}
         self._votes: dict[tuple[str, str, int], str] = {}
         self.most_leaders = 1
-        self._configs: dict[str, list[Config]] = {}  # the last that leaders told of each group: one counts at once
+        self._configs: dict[
+            str, list[Config]
+        ] = {}  # the last that leaders told of each group: one counts at once
         self._commits: dict[str, int] = {}  # highest that a leader told, for each group
         self._before: dict[str, int] = {}  # the same at the look before
         self._loss_at = math.inf
@@ -144,8 +162,15 @@
         machine.setup = replace(machine.setup, incarnation=machine.disk.incarnation)
         saved = machine.disk.start(machine.life)
         try:
-            machine.node = self._node_type(machine.setup, saved, Random(self._nodes_draw.getrandbits(64)), now,
-                                           machine.clock.wall(now), self.rules, self.gates.start(machine, now))
+            machine.node = self._node_type(
+                machine.setup,
+                saved,
+                Random(self._nodes_draw.getrandbits(64)),
+                now,
+                machine.clock.wall(now),
+                self.rules,
+                self.gates.start(machine, now),
+            )
         except Broken as fault:
             self.found(fault.rule.name, str(fault))
             return
@@ -188,7 +213,7 @@
         if node is None or life != machine.life or self.over:
             return
         if machine.frozen:
-            machine.inbox += events[:max(MOST_INBOX - len(machine.inbox), 0)]
+            machine.inbox += events[: max(MOST_INBOX - len(machine.inbox), 0)]
             return
         true = self.calendar.now
         now = machine.clock.now(true)
@@ -284,18 +309,24 @@
             if message.granted and not message.pre:
                 kept = machine.disk.groups.get(message.group, Kept())
                 if kept.term < message.term or (kept.term == message.term and kept.vote != to):
-                    self.found("vote-not-stored", f"{machine.id} for {to}: {message}; on disk term {kept.term}, "
-                                                   f"vote {kept.vote!r}")
+                    self.found(
+                        "vote-not-stored",
+                        f"{machine.id} for {to}: {message}; on disk term {kept.term}, vote {kept.vote!r}",
+                    )
                 whom = self._votes.setdefault((machine.name, message.group, message.term), to)
                 if whom != to:
-                    self.found("two-votes", f"{machine.name} in term {message.term} of {message.group}: "
-                                             f"{whom} and {to}")
+                    self.found(
+                        "two-votes",
+                        f"{machine.name} in term {message.term} of {message.group}: {whom} and {to}",
+                    )
         elif kind is Appended:
             assert isinstance(message, Appended)
             if message.good and message.index:
                 kept = machine.disk.groups.get(message.group, Kept())
                 if kept.last < message.index:
-                    self.found("acknowledged-not-stored", f"{machine.id}: {message}; on disk up to {kept.last}")
+                    self.found(
+                        "acknowledged-not-stored", f"{machine.id}: {message}; on disk up to {kept.last}"
+                    )
 
     def _check_commit(self, leader: Machine, group: str, index: int) -> None:
         """What a leader tells as committed is on the disks of a majority, or was when they said so."""
@@ -316,12 +347,20 @@
                     have.add(f"{machine.name}/{incarnation}")
         # Which members hold is the leader's to say; its own store may lag behind, then another's says it.
         if not any(sum(who in have for who in config.voters) * 2 > len(config.voters) for config in configs):
-            self.found("committed-not-stored", f"{group} {index} by {leader.id}: on {sorted(have)} of {configs}")
+            self.found(
+                "committed-not-stored", f"{group} {index} by {leader.id}: on {sorted(have)} of {configs}"
+            )
 
     def groups(self) -> list[str]:
         """All that any disk knows, but the founding record's."""
-        return sorted({group for machine in self.machines.values() for group in machine.disk.groups
-                       if group != FOUNDING and machine.disk.groups[group].last})
+        return sorted(
+            {
+                group
+                for machine in self.machines.values()
+                for group in machine.disk.groups
+                if group != FOUNDING and machine.disk.groups[group].last
+            }
+        )
 
     def config(self, group: str) -> Config | None:
         """The members of a group by the disks: those of the log that won last."""
@@ -336,8 +375,8 @@
         return found
 
     def missing(self) -> list[tuple[str, str]]:
-        """Copies that are not there, not on a machine that runs, or without what was committed a while ago, by group and
-        Id; one without an Id where a group has too few, or is none yet."""
+        """Copies that are not there, not on a machine that runs, or without what was committed a while
+        ago, by group and Id; one without an Id where a group has too few, or is none yet."""
         up = {machine.id for machine in self.machines.values() if machine.up and not machine.disk.full}
         ups = {name_of(one) for one in up}
         found: list[tuple[str, str]] = []
@@ -347,8 +386,12 @@
                 found.append((group, ""))
             for who in (*config.voters, *config.learners) if config is not None else ():
                 kept = self.machines[name_of(who)].disk.groups.get(group)
-                if (who not in up or kept is None or kept.last < self._before.get(group, 0)
-                        or who not in config.voters):  # type: ignore[union-attr]
+                if (
+                    who not in up
+                    or kept is None
+                    or kept.last < self._before.get(group, 0)
+                    or who not in config.voters
+                ):  # type: ignore[union-attr]
                     found.append((group, who))
         return found
 
@@ -357,11 +400,15 @@
         return bool(self.groups()) and not self.missing()
 
     def joined(self, names: Iterable[str]) -> set[str]:
-        """The most of these machines that run, can store, and reach each other and back within an election time."""
+        """The most of these machines that run, can store, and reach each other and back within an election
+        time."""
         up = [name for name in names if self.machines[name].up and not self.machines[name].disk.full]
         delays = self.network.delays
-        cuts = self.network.cuts | {pair for pair in delays if delays[pair] + delays.get(
-            (pair[1], pair[0]), 0.0) >= self.timings.election_ms}
+        cuts = self.network.cuts | {
+            pair
+            for pair in delays
+            if delays[pair] + delays.get((pair[1], pair[0]), 0.0) >= self.timings.election_ms
+        }
         best: set[str] = set()
         for first in up:
             made = [first]
@@ -387,8 +434,8 @@
             self._loss_at = math.inf
 
     def _watch_silence(self) -> None:
-        """Times without an answer, key by key, while majorities of all members and of the key's group are joined and
-        somebody there asks."""
+        """Times without an answer, key by key, while majorities of all members and of the key's group are
+        joined and somebody there asks."""
         joined = self.joined(self.machines)
         if len(joined) * 2 <= self.plan.members:
             self._silent.clear()
@@ -400,9 +447,14 @@
             group = group_of(f"p:{key}", self.plan.groups)
             if group not in served:
                 config = self.config(group)
-                served[group] = config is not None and sum(
-                    name_of(who) in joined and who == self.machines[name_of(who)].id
-                    for who in config.voters) >= config.majority()
+                served[group] = (
+                    config is not None
+                    and sum(
+                        name_of(who) in joined and who == self.machines[name_of(who)].id
+                        for who in config.voters
+                    )
+                    >= config.majority()
+                )
             if not served[group]:
                 self._silent[key] = 0.0
             elif any(op.through in joined for op in ops.values()):
@@ -416,7 +468,9 @@
         now = self.calendar.now
         if fault.mode == "whole" and not (self.whole() and self.loading):
             since = now if since < 0 else since
-            if now - since < 20_000.0 and self.loading:  # not after the end's mending, which nobody would mend
+            if (
+                now - since < 20_000.0 and self.loading
+            ):  # not after the end's mending, which nobody would mend
                 self.calendar.at(now + LOOK_MS, self.happen, fault, since)
             return
         if fault.word in ("kill", "lose", "freeze", "cut", "full"):
@@ -458,8 +512,13 @@
     def _links(self, fault: Fault) -> None:
         network = self.network
         sides = [[f"g{number}" for number in group] for group in fault.groups]
-        pairs = [(one, other) for at, side in enumerate(sides) for then in sides[at + 1:] for one in side
-                 for other in then]
+        pairs = [
+            (one, other)
+            for at, side in enumerate(sides)
+            for then in sides[at + 1 :]
+            for one in side
+            for other in then
+        ]
         if fault.mode != "one-way":
             pairs += [(other, one) for one, other in pairs]
         match fault.word:
@@ -520,14 +579,19 @@
             return
         number = len(self.ops) + 1
         read = draw.random() < 0.25
-        op = Op(f"n{draw.randrange(plan.keys)}", f"o{number}", None if read else f"v{number}", self.calendar.now)
+        op = Op(
+            f"n{draw.randrange(plan.keys)}", f"o{number}", None if read else f"v{number}", self.calendar.now
+        )
         self.ops.append(op)
         self._open.setdefault(op.key, {})[op.id] = op
         self._try(op, draw.choice(up), 1, False)
 
     def _try(self, op: Op, name: str, tries: int, unknown: bool) -> None:
-        command: Command = (PromiseRead(id=f"{op.id}.{tries}", name=op.key) if op.value is None
-                            else Promise(id=op.id, name=op.key, value=op.value))
+        command: Command = (
+            PromiseRead(id=f"{op.id}.{tries}", name=op.key)
+            if op.value is None
+            else Promise(id=op.id, name=op.key, value=op.value)
+        )
         op.through = name
         self.call(name, command, lambda result: self._answered(op, name, tries, unknown, result))
 
@@ -535,7 +599,9 @@
         if isinstance(result, Applied) and result.error is None:
             if op.fate == "answered":  # a repeat: told as the first time
                 if result.value != op.result:
-                    self.found("twice", f"{op.key}: {op.id} was answered {op.result!r}, then {result.value!r}")
+                    self.found(
+                        "twice", f"{op.key}: {op.id} was answered {op.result!r}, then {result.value!r}"
+                    )
                 return
             op.fate, op.result, op.returned = "answered", result.value, self.calendar.now
             self._silent[op.key] = 0.0
@@ -549,8 +615,14 @@
         unknown = unknown or not isinstance(error, FleetError) or error.code == "unknown-outcome"
         if tries < MOST_TRIES and (error is None or error.retry) and not self.over:
             up = [other for other, machine in self.machines.items() if machine.node is not None] or [name]
-            self.calendar.at(self.calendar.now + self.draw.uniform(20.0, 300.0), self._try, op,
-                             self.draw.choice(up), tries + 1, unknown)
+            self.calendar.at(
+                self.calendar.now + self.draw.uniform(20.0, 300.0),
+                self._try,
+                op,
+                self.draw.choice(up),
+                tries + 1,
+                unknown,
+            )
             return
         op.fate = "unknown" if unknown else "refused"
         self._end(op)
@@ -581,8 +653,9 @@
         self.loading = False
         self._mend()
         end = self.calendar.now
-        quiet = self._until(end + SETTLE_MS, lambda: (
-            not any(self._open.values()) and self.whole() and self.gates.rolled()))
+        quiet = self._until(
+            end + SETTLE_MS, lambda: not any(self._open.values()) and self.whole() and self.gates.rolled()
+        )
         if not self.over and (states := self.gates.half_drained()) and self.gates.rolled():
             self._until(self.calendar.now + 3000.0, lambda: not self.gates.half_drained())
             if self.gates.half_drained():
@@ -640,7 +713,8 @@
                     self.found("unreadable", f"{op.key} through {op.through}")
 
     def _compare_logs(self) -> None:
-        """Two logs that agree in an entry's index and term agree in it and in all before (Raft's log matching)."""
+        """Two logs that agree in an entry's index and term agree in it and in all before (Raft's log
+        matching)."""
         for group in self.groups():
             known: dict[tuple[int, int], tuple[str, bytes]] = {}
             for name, machine in self.machines.items():
@@ -648,14 +722,27 @@
                 for entry in kept.entries if kept else ():
                     first = known.setdefault((entry.index, entry.term), (name, entry.body))
                     if first[1] != entry.body:
-                        self.found("logs-differ", f"{group} {entry.index}/{entry.term}: {first[0]} and {name}")
+                        self.found(
+                            "logs-differ", f"{group} {entry.index}/{entry.term}: {first[0]} and {name}"
+                        )
 
     def _figures(self, verdict: Verdict) -> FleetFigures:
         rules = sum(finding.name.isupper() for finding in self.findings)
         gates, plan = self.gates, self.plan
         return FleetFigures(
-            verdict.acknowledged, verdict.lost, verdict.twice, self.most_leaders, self.unavailable_ms, self.restored_ms,
-            gates.contract_floor(), gates.contract_over(), gates.shortfall_error(), gates.lent_share(),
+            verdict.acknowledged,
+            verdict.lost,
+            verdict.twice,
+            self.most_leaders,
+            self.unavailable_ms,
+            self.restored_ms,
+            gates.contract_floor(),
+            gates.contract_over(),
+            gates.shortfall_error(),
+            gates.lent_share(),
             gates.connections_over if plan.connections else None,
-            next(iter(gates.roll_states.values()), None), gates.roll_lost if plan.rolls else None, rules,
-            gates.roll_ratio)
+            next(iter(gates.roll_states.values()), None),
+            gates.roll_lost if plan.rolls else None,
+            rules,
+            gates.roll_ratio,
+        )
--- a/lab/many.py
+++ b/lab/many.py
@@ -1,10 +1,12 @@
-"""`python -m lab.many SCENARIO --seeds A..B --jobs J --json`: a scenario on sockets with many seeds, one JSON document.
-
-Each run has a process of its own; at most `--jobs` are played at once.  Beside worst and median of each figure stands
-how loaded the machine was: the load average, and how late the emulator itself ran, which bounds what the times say.
-A run in which it was later than `LATE_MS` counts as `late`: its front hears of a gateway that turns clients away when
-that one has closed its connections already, so that a query lost there says nothing of the roll.
-Exit code 1 where a run broke a promise, did not end its rolls, or did not come to its end.
+"""`python -m lab.many SCENARIO --seeds A..B --jobs J --json`: a scenario on sockets with many seeds, one JSON
+document.
+
+Each run has a process of its own; at most `--jobs` are played at once.  Beside worst and median of each
+figure stands how loaded the machine was: the load average, and how late the emulator itself ran, which bounds
+what the times say. A run in which it was later than `LATE_MS` counts as `late`: its front hears of a gateway
+that turns clients away when that one has closed its connections already, so that a query lost there says
+nothing of the roll. Exit code 1 where a run broke a promise, did not end its rolls, or did not come to its
+end.
 """
 
 from __future__ import annotations
@@ -29,7 +31,14 @@
 from lab.text.sexpr import TextError
 
 LATE_MS = 300.0  # of the 450 that a gateway gives its front
-BESIDE = ("load", "emulator_lag_ms", "took_s", "roll_ratio", "wait_p50_ms", "wait_p99_ms")  # of numbers, high is bad
+BESIDE = (
+    "load",
+    "emulator_lag_ms",
+    "took_s",
+    "roll_ratio",
+    "wait_p50_ms",
+    "wait_p99_ms",
+)  # of numbers, high is bad
 
 
 def one(seed: int, name: str, to: Path | None) -> dict[str, Any]:
@@ -53,7 +62,12 @@
         except (RuntimeError, OSError) as fault:
             row["fault"] = str(fault)[:500]
     made = stage.fleet_figures()
-    row |= {"figures": made.plain(), "bad": made.bad(), "queries": dict(stage.counts), **stage.extra_figures()}
+    row |= {
+        "figures": made.plain(),
+        "bad": made.bad(),
+        "queries": dict(stage.counts),
+        **stage.extra_figures(),
+    }
     if text.rolls and made.roll_state != "done":
         row["bad"].append("roll_state")
     promises, rolls = row.get("promises", {}), row.get("rolls", [])
@@ -76,10 +90,18 @@
             by.setdefault(key, []).append(row["seed"])
     late = [row["seed"] for row in rows if row["emulator_lag_ms"] > LATE_MS]
     queries = {kind: sum(row["queries"][kind] for row in rows) for kind in rows[0]["queries"]} if rows else {}
-    return {"scenario": name, "commit": commit(), "runs": len(rows), "late": late,
-            "failed": sum(map(bool, map(_failed, rows))), "by": by, "queries": queries, "beside": beside,
-            "figures": spread([row["figures"] for row in rows]),
-            "faults": [row["fault"] for row in rows if row["fault"]]}
+    return {
+        "scenario": name,
+        "commit": commit(),
+        "runs": len(rows),
+        "late": late,
+        "failed": sum(map(bool, map(_failed, rows))),
+        "by": by,
+        "queries": queries,
+        "beside": beside,
+        "figures": spread([row["figures"] for row in rows]),
+        "faults": [row["fault"] for row in rows if row["fault"]],
+    }
 
 
 def _failed(row: dict[str, Any]) -> bool:
@@ -93,7 +115,9 @@
 
 def main(given: list[str] | None = None) -> int:
     """Play; 0 where no run fails."""
-    wanted = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    wanted = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
     wanted.add_argument("scenario")
     wanted.add_argument("--seeds", type=_seeds, default=range(1, 2), help="A..B, both played")
     wanted.add_argument("--jobs", type=int, default=1, choices=(1, 2, 3, 4))
@@ -113,8 +137,12 @@
     with multiprocessing.get_context("spawn").Pool(got.jobs, maxtasksperchild=1) as pool:
         for row in pool.imap(partial(one, name=got.scenario, to=got.to), got.seeds):
             rows.append(row)
-            print(f"seed {row['seed']}: {', '.join(row['bad']) or row['fault'] or 'good'}, {row['took_s']} s, "
-                  f"load {row['load']}", file=sys.stderr, flush=True)
+            print(
+                f"seed {row['seed']}: {', '.join(row['bad']) or row['fault'] or 'good'}, {row['took_s']} s, "
+                f"load {row['load']}",
+                file=sys.stderr,
+                flush=True,
+            )
     made = summary(text.name, rows)
     print(json.dumps({**made, "rows": rows} if got.json else made, sort_keys=True, indent=1))
     return 1 if made["failed"] else 0
--- a/lab/referee.py
+++ b/lab/referee.py
@@ -79,8 +79,13 @@
 class Referee:
     """Books for one run."""
 
-    def __init__(self, plans: tuple[PlanText, ...], trouble: tuple[float, float], started: float = 0.0,
-                 step_ms: float = 250.0) -> None:
+    def __init__(
+        self,
+        plans: tuple[PlanText, ...],
+        trouble: tuple[float, float],
+        started: float = 0.0,
+        step_ms: float = 250.0,
+    ) -> None:
         self._plans = {plan.name: plan for plan in plans}
         self._trouble, self._started, self.step_ms = trouble, started, step_ms
         self._accounts: dict[int, Account] = {}
@@ -95,11 +100,15 @@
         found = self._accounts.get(customer)
         if found is None:
             text = self._plans[plan]
-            ceiling = (Store(text.ceiling_rate, text.ceiling_burst, self._started)
-                       if text.ceiling_rate > 0 else None)
+            ceiling = (
+                Store(text.ceiling_rate, text.ceiling_burst, self._started) if text.ceiling_rate > 0 else None
+            )
             found = self._accounts[customer] = Account(
-                text, Store(text.rate, text.burst, self._started),
-                Store(text.rate, text.burst, self._started), ceiling)
+                text,
+                Store(text.rate, text.burst, self._started),
+                Store(text.rate, text.burst, self._started),
+                ceiling,
+            )
         return found
 
     def _book(self, now: float, plan: str, gateway: int) -> list[Sums]:
@@ -154,17 +163,34 @@
 
     def verdict(self) -> Verdict:
         """The figures.  A ceiling counts as broken beyond a twentieth of its depth."""
-        excess = max((-one.lowest / one.plan.ceiling_burst for one in self._accounts.values()
-                      if one.ceiling is not None), default=0.0)
+        excess = max(
+            (
+                -one.lowest / one.plan.ceiling_burst
+                for one in self._accounts.values()
+                if one.ceiling is not None
+            ),
+            default=0.0,
+        )
         total = Sums()
         plans = {}
         for name, sums in self._sums.items():
             total.add(sums)
-            plans[name] = {"sent": round(sums.sent, 3), "beyond_share": _share(sums.beyond, sums.sent),
-                           "sent_of_allowed": _share(sums.sent, sums.oracle)}
-        return Verdict(excess > 0.05, round(max(0.0, excess), 5), _share(total.beyond, total.sent),
-                       _share(total.sent, total.oracle), plans, len(self._owed), self._twice, self._tries,
-                       dict(sorted(self._answers.items())))
+            plans[name] = {
+                "sent": round(sums.sent, 3),
+                "beyond_share": _share(sums.beyond, sums.sent),
+                "sent_of_allowed": _share(sums.sent, sums.oracle),
+            }
+        return Verdict(
+            excess > 0.05,
+            round(max(0.0, excess), 5),
+            _share(total.beyond, total.sent),
+            _share(total.sent, total.oracle),
+            plans,
+            len(self._owed),
+            self._twice,
+            self._tries,
+            dict(sorted(self._answers.items())),
+        )
 
 
 def _share(part: float, whole: float) -> float:
--- a/lab/report/plot.py
+++ b/lab/report/plot.py
@@ -30,8 +30,13 @@
     return [step * index for index in range(int(most / step) + 1)]
 
 
-def chart(lines: Sequence[Line], seconds: float, unit: str, shaded: tuple[float, float] | None = None,
-          marks: Sequence[tuple[float, str]] = ()) -> str:
+def chart(
+    lines: Sequence[Line],
+    seconds: float,
+    unit: str,
+    shaded: tuple[float, float] | None = None,
+    marks: Sequence[tuple[float, str]] = (),
+) -> str:
     """One plot: lines over `seconds`, a shaded stretch, and marks at times."""
     most = max((value for line in lines for _, value in line.points), default=1.0) * 1.08 or 1.0
     wide, high = WIDTH - LEFT - RIGHT, HEIGHT - TOP - BOTTOM
@@ -44,36 +49,52 @@
 
     out = [f'<svg viewBox="0 0 {WIDTH} {HEIGHT}" role="img" xmlns="http://www.w3.org/2000/svg">']
     if shaded is not None:
-        out.append(f'<rect x="{x(shaded[0]):.1f}" y="{TOP}" width="{x(shaded[1]) - x(shaded[0]):.1f}" '
-                   f'height="{high}" fill="#f6e7df"/>')
+        out.append(
+            f'<rect x="{x(shaded[0]):.1f}" y="{TOP}" width="{x(shaded[1]) - x(shaded[0]):.1f}" '
+            f'height="{high}" fill="#f6e7df"/>'
+        )
     for tick in _ticks(most):
-        out.append(f'<line x1="{LEFT}" x2="{LEFT + wide}" y1="{y(tick):.1f}" y2="{y(tick):.1f}" '
-                   f'stroke="#ddd"/><text x="{LEFT - 6}" y="{y(tick) + 4:.1f}" text-anchor="end">'
-                   f'{tick:g}</text>')
+        out.append(
+            f'<line x1="{LEFT}" x2="{LEFT + wide}" y1="{y(tick):.1f}" y2="{y(tick):.1f}" '
+            f'stroke="#ddd"/><text x="{LEFT - 6}" y="{y(tick) + 4:.1f}" text-anchor="end">'
+            f"{tick:g}</text>"
+        )
     for tick in _ticks(seconds):
         out.append(f'<text x="{x(tick):.1f}" y="{HEIGHT - 10}" text-anchor="middle">{tick:g} s</text>')
     out.append(f'<text x="{LEFT}" y="{TOP - 3}" class="unit">{html.escape(unit)}</text>')
     for at, word in marks:
-        out.append(f'<line x1="{x(at):.1f}" x2="{x(at):.1f}" y1="{TOP}" y2="{TOP + high}" stroke="#999" '
-                   f'stroke-dasharray="2 3"><title>{html.escape(word)}</title></line>')
+        out.append(
+            f'<line x1="{x(at):.1f}" x2="{x(at):.1f}" y1="{TOP}" y2="{TOP + high}" stroke="#999" '
+            f'stroke-dasharray="2 3"><title>{html.escape(word)}</title></line>'
+        )
     for index, line in enumerate(lines):
         colour = COLOURS[index % len(COLOURS)]
         path = " ".join(f"{x(at):.1f},{y(value):.1f}" for at, value in line.points)
         dash = ' stroke-dasharray="6 4"' if line.dashed else ""
         out.append(f'<polyline points="{path}" fill="none" stroke="{colour}" stroke-width="1.6"{dash}/>')
         row = TOP + 12 + 18 * index
-        out.append(f'<line x1="{LEFT + wide + 10}" x2="{LEFT + wide + 34}" y1="{row - 4}" y2="{row - 4}" '
-                   f'stroke="{colour}" stroke-width="2"{dash}/>'
-                   f'<text x="{LEFT + wide + 40}" y="{row}">{html.escape(line.name)}</text>')
+        out.append(
+            f'<line x1="{LEFT + wide + 10}" x2="{LEFT + wide + 34}" y1="{row - 4}" y2="{row - 4}" '
+            f'stroke="{colour}" stroke-width="2"{dash}/>'
+            f'<text x="{LEFT + wide + 40}" y="{row}">{html.escape(line.name)}</text>'
+        )
     out.append("</svg>")
     return "".join(out)
 
 
 def bands(rows: Sequence[tuple[str, Sequence[tuple[float, float, str]]]], seconds: float) -> str:
     """Rows of coloured stretches (from, to, word): what was believed, or was so, over time."""
-    colours = {"sound": "#cfe3d4", "healed": "#dcebc8", "slow": "#f3e3a8", "dead": "#d98c7a",
-               "split": "#b98ac4", "missing": "#e0bfe6", "absent": "#cfc3b0", "swapped": "#8fb8da",
-               "unknown": "#eeeeee"}
+    colours = {
+        "sound": "#cfe3d4",
+        "healed": "#dcebc8",
+        "slow": "#f3e3a8",
+        "dead": "#d98c7a",
+        "split": "#b98ac4",
+        "missing": "#e0bfe6",
+        "absent": "#cfc3b0",
+        "swapped": "#8fb8da",
+        "unknown": "#eeeeee",
+    }
     wide, step = WIDTH - LEFT - RIGHT, 24
     high = step * len(rows) + 8
     out = [f'<svg viewBox="0 0 {WIDTH} {high}" role="img" xmlns="http://www.w3.org/2000/svg">']
@@ -82,8 +103,10 @@
         out.append(f'<text x="{LEFT - 6}" y="{top + 14}" text-anchor="end">{html.escape(name)}</text>')
         for begin, end, word in stretches:
             at, width = LEFT + wide * begin / seconds, wide * max(end - begin, 0.0) / seconds
-            out.append(f'<rect x="{at:.1f}" y="{top}" width="{width:.1f}" height="{step - 4}" '
-                       f'fill="{colours.get(word, "#bbbbbb")}"><title>{html.escape(word)}</title></rect>')
+            out.append(
+                f'<rect x="{at:.1f}" y="{top}" width="{width:.1f}" height="{step - 4}" '
+                f'fill="{colours.get(word, "#bbbbbb")}"><title>{html.escape(word)}</title></rect>'
+            )
             if width > 7 * len(word):
                 out.append(f'<text x="{at + 4:.1f}" y="{top + 14}">{html.escape(word)}</text>')
     out.append("</svg>")
--- a/lab/report/write.py
+++ b/lab/report/write.py
@@ -14,19 +14,38 @@
 from lab.result import Result, within_stated
 from lab.text.scenario import Scenario, parse
 
-SHOWN = ("ceiling_excess", "beyond_share", "sent_of_allowed", "stated_error", "detect_ms", "false_alarms",
-         "unanswered", "twice_answered", "calls_a_try")
-
-
-def write_folder(folder: Path, text: Scenario, source: str, results: list[Result], figures: dict[str, Any],
-                 events: list[dict[str, Any]]) -> None:
+SHOWN = (
+    "ceiling_excess",
+    "beyond_share",
+    "sent_of_allowed",
+    "stated_error",
+    "detect_ms",
+    "false_alarms",
+    "unanswered",
+    "twice_answered",
+    "calls_a_try",
+)
+
+
+def write_folder(
+    folder: Path,
+    text: Scenario,
+    source: str,
+    results: list[Result],
+    figures: dict[str, Any],
+    events: list[dict[str, Any]],
+) -> None:
     """Everything of a run; the line and the beliefs are the first result's."""
     folder.mkdir(parents=True, exist_ok=True)
     first = results[0]
-    figures = {**figures, "within_stated": all(map(within_stated, results)), "commit": commit(),
-               "setup": f"{text.gateways} gateways, {text.servers} servers, "
-                        f"{sum(crowd.count for crowd in text.crowds)} customers; watch "
-                        f"{'on' if text.watch else 'off'}; {figures['kind']}"}
+    figures = {
+        **figures,
+        "within_stated": all(map(within_stated, results)),
+        "commit": commit(),
+        "setup": f"{text.gateways} gateways, {text.servers} servers, "
+        f"{sum(crowd.count for crowd in text.crowds)} customers; watch "
+        f"{'on' if text.watch else 'off'}; {figures['kind']}",
+    }
     (folder / "figures.json").write_text(json.dumps(figures, indent=1, sort_keys=True) + "\n")
     lines = [json.dumps(event, sort_keys=True) + "\n" for event in events]
     (folder / "events.jsonl").write_text("".join(lines))
@@ -38,8 +57,14 @@
 def commit() -> str:
     """The checkout's commit; empty outside one."""
     try:
-        return subprocess.run(["git", "rev-parse", "--short", "HEAD"], capture_output=True, text=True,
-                              timeout=5, cwd=Path(__file__).parent, check=True).stdout.strip()
+        return subprocess.run(
+            ["git", "rev-parse", "--short", "HEAD"],
+            capture_output=True,
+            text=True,
+            timeout=5,
+            cwd=Path(__file__).parent,
+            check=True,
+        ).stdout.strip()
     except (OSError, subprocess.SubprocessError):
         return ""
 
@@ -95,20 +120,44 @@
     shaded = text.trouble[0] / 1000.0, text.trouble[1] / 1000.0
     marks = [(fault.at_ms / 1000.0, f"{fault.word} {fault.target} {fault.mode}") for fault in text.faults]
     names = {"sent": "sent", "beyond": "beyond quota", "oracle": "all-knowing"}
-    units = chart([Line(names[key], sorted(into.items()), key == "oracle") for key, into in sums.items()],
-                  seconds, "units a second", shaded, marks)
-    each = chart([Line(f"gateway {number + 1}", sorted(into.items())) for number, into in
-                  sorted(gateways.items())[:6]], seconds, "units a second", shaded, marks)
+    units = chart(
+        [Line(names[key], sorted(into.items()), key == "oracle") for key, into in sums.items()],
+        seconds,
+        "units a second",
+        shaded,
+        marks,
+    )
+    each = chart(
+        [
+            Line(f"gateway {number + 1}", sorted(into.items()))
+            for number, into in sorted(gateways.items())[:6]
+        ],
+        seconds,
+        "units a second",
+        shaded,
+        marks,
+    )
     spread = figures.get("spread", {})
     rows = [(key, _worded(figures, spread, key)) for key in SHOWN if key in figures or key in spread]
-    rows += [(f"latency {kind} ms", ", ".join(f"{part} {value}" for part, value in of.items()))
-             for kind, of in figures.get("latency_ms", {}).items()]
-    rows += [(key, figures[key]) for key in ("memory_mb", "emulator_lag_ms", "seeds", "commit")
-             if figures.get(key)]
-    return {"name": folder.name, "about": text.about, "setup": figures["setup"], "figures": rows,
-            "broken": bool(figures["ceiling_broken"]), "within": figures["within_stated"],
-            "units": units, "by_gateway": each, "source": source,
-            "beliefs": bands(_stretches(text, events, seconds), seconds)}
+    rows += [
+        (f"latency {kind} ms", ", ".join(f"{part} {value}" for part, value in of.items()))
+        for kind, of in figures.get("latency_ms", {}).items()
+    ]
+    rows += [
+        (key, figures[key]) for key in ("memory_mb", "emulator_lag_ms", "seeds", "commit") if figures.get(key)
+    ]
+    return {
+        "name": folder.name,
+        "about": text.about,
+        "setup": figures["setup"],
+        "figures": rows,
+        "broken": bool(figures["ceiling_broken"]),
+        "within": figures["within_stated"],
+        "units": units,
+        "by_gateway": each,
+        "source": source,
+        "beliefs": bands(_stretches(text, events, seconds), seconds),
+    }
 
 
 def _worded(figures: dict[str, Any], spread: dict[str, Any], key: str) -> Any:
@@ -118,22 +167,39 @@
     return figures[key]
 
 
-def _stretches(text: Scenario, events: list[dict[str, Any]],
-               seconds: float) -> list[tuple[str, list[tuple[float, float, str]]]]:
+def _stretches(
+    text: Scenario, events: list[dict[str, Any]], seconds: float
+) -> list[tuple[str, list[tuple[float, float, str]]]]:
     """The counter as it was, then as each gateway believed it to be."""
-    words = {"kill": "dead", "freeze": "dead", "spoil": "dead", "split": "split", "slow": "slow",
-             "swap": "swapped", "restore": "swapped"}
+    words = {
+        "kill": "dead",
+        "freeze": "dead",
+        "spoil": "dead",
+        "split": "split",
+        "slow": "slow",
+        "swap": "swapped",
+        "restore": "swapped",
+    }
     true: list[tuple[float, str]] = [(0.0, "sound")]
     for fault in text.faults:
         if fault.target == "counter":
             calm = fault.word in ("start", "thaw", "heal") or (fault.word == "slow" and fault.amount <= 1)
             true.append((fault.at_ms / 1000.0, "sound" if calm else words.get(fault.word, "sound")))
     rows = [("true", true)]
-    believed: dict[int, list[tuple[float, str]]] = {number + 1: [(0.0, "unknown")]
-                                                    for number in range(min(text.gateways, 12))}
+    believed: dict[int, list[tuple[float, str]]] = {
+        number + 1: [(0.0, "unknown")] for number in range(min(text.gateways, 12))
+    }
     for event in events:
         if event["event"] == "belief" and event["gateway"] in believed:
             believed[event["gateway"]].append((max(event["at_ms"], 0.0) / 1000.0, event["belief"]))
     rows += [(f"g{number}", changes) for number, changes in believed.items()]
-    return [(name, [(at, later[0], word) for (at, word), later in
-                    zip(changes, [*changes[1:], (seconds, "")], strict=True)]) for name, changes in rows]
+    return [
+        (
+            name,
+            [
+                (at, later[0], word)
+                for (at, word), later in zip(changes, [*changes[1:], (seconds, "")], strict=True)
+            ],
+        )
+        for name, changes in rows
+    ]
--- a/lab/result.py
+++ b/lab/result.py
@@ -12,8 +12,11 @@
 from martenstep.watch.state import Belief
 
 DEADLINE_MS, SAFE_AIM_MS = 2000.0, 400.0
-ALARMS = {belief.value for belief in Belief if belief not in (
-    Belief.UNKNOWN, Belief.SOUND, Belief.SLOW, Belief.HEALED)}
+ALARMS = {
+    belief.value
+    for belief in Belief
+    if belief not in (Belief.UNKNOWN, Belief.SOUND, Belief.SLOW, Belief.HEALED)
+}
 REAL = ("kill", "lose", "freeze", "split", "swap", "spoil", "restore")  # faults that are a loss
 AFTER_MS = 5000.0  # a belief so long after the last fault is a false one
 
@@ -48,13 +51,21 @@
         """As plain values, in a fixed order."""
         verdict = self.verdict
         return {
-            "scenario": self.scenario, "seed": self.seed, "ceiling_broken": verdict.ceiling_broken,
-            "ceiling_excess": verdict.ceiling_excess, "beyond_share": verdict.beyond_share,
-            "sent_of_allowed": verdict.sent_of_allowed, "stated_error": round(self.stated_error, 5),
+            "scenario": self.scenario,
+            "seed": self.seed,
+            "ceiling_broken": verdict.ceiling_broken,
+            "ceiling_excess": verdict.ceiling_excess,
+            "beyond_share": verdict.beyond_share,
+            "sent_of_allowed": verdict.sent_of_allowed,
+            "stated_error": round(self.stated_error, 5),
             "detect_ms": None if self.detect_ms is None else round(self.detect_ms, 1),
-            "false_alarms": self.false_alarms, "plans": verdict.plans, "tries": verdict.tries,
-            "answers": verdict.answers, "unanswered": verdict.unanswered,
-            "twice_answered": verdict.twice_answered, "calls_a_try": round(self.calls_a_try, 4),
+            "false_alarms": self.false_alarms,
+            "plans": verdict.plans,
+            "tries": verdict.tries,
+            "answers": verdict.answers,
+            "unanswered": verdict.unanswered,
+            "twice_answered": verdict.twice_answered,
+            "calls_a_try": round(self.calls_a_try, 4),
             "watch_calls_a_second": round(self.watch_calls_a_second, 3),
         }
 
@@ -62,21 +73,48 @@
 def settings_of(scenario: Scenario, me: int) -> api.Settings:
     """The settings that a gateway of this scenario is told."""
     return api.Settings(
-        me=me, gateways=scenario.gateways, zone="hall-a", tick_ms=4.0,
+        me=me,
+        gateways=scenario.gateways,
+        zone="hall-a",
+        tick_ms=4.0,
         classes=(api.RequestClass("balance-check", SAFE_AIM_MS, DEADLINE_MS, api.Effect.SAFE),),
-        plans=tuple(api.Plan(plan.name, plan.rate, plan.burst, 0, plan.price, 0.0, plan.over_cost,
-                             plan.ceiling_rate, plan.ceiling_burst, plan.slack) for plan in scenario.plans),
+        plans=tuple(
+            api.Plan(
+                plan.name,
+                plan.rate,
+                plan.burst,
+                0,
+                plan.price,
+                0.0,
+                plan.over_cost,
+                plan.ceiling_rate,
+                plan.ceiling_burst,
+                plan.slack,
+            )
+            for plan in scenario.plans
+        ),
         has_counter=True,
         counter_timeout_ms=scenario.counter_timeout_ms,
-        max_units=float(max((crowd.units[1] for crowd in scenario.crowds), default=1)), max_attempts=3,
-        can_cancel=True, max_retry_after_ms=1000.0,
-        answer_slack_ms=16.0, cold_from=0.16,
-        warm_within_ms=14_000.0, fall_multiple=3.0,
-        fall_window_ms=1500.0)
-
-
-def conclude(scenario: Scenario, seed: int, referee: Referee, beliefs: list[Shown], calls: int,
-             watch_calls_a_second: float) -> Result:
+        max_units=float(max((crowd.units[1] for crowd in scenario.crowds), default=1)),
+        max_attempts=3,
+        can_cancel=True,
+        max_retry_after_ms=1000.0,
+        answer_slack_ms=16.0,
+        cold_from=0.16,
+        warm_within_ms=14_000.0,
+        fall_multiple=3.0,
+        fall_window_ms=1500.0,
+    )
+
+
+def conclude(
+    scenario: Scenario,
+    seed: int,
+    referee: Referee,
+    beliefs: list[Shown],
+    calls: int,
+    watch_calls_a_second: float,
+) -> Result:
     """The result, from the referee's books and the beliefs that were shown."""
     start, end = scenario.trouble
     real = any(fault.word in REAL for fault in scenario.faults)
@@ -84,12 +122,31 @@
     found = [shown.at_ms - start for shown in alarms if shown.at_ms >= start] if real else []
     away = [shown for shown in alarms if not real or shown.at_ms < start or shown.at_ms > end + AFTER_MS]
     verdict = referee.verdict()
-    line = [{"at_ms": step * referee.step_ms, "gateway": gateway, "sent": sums.sent, "beyond": sums.beyond,
-             "oracle": sums.oracle, "asked": sums.asked}
-            for step, row in sorted(referee.line.items()) for gateway, sums in sorted(row.items())]
+    line = [
+        {
+            "at_ms": step * referee.step_ms,
+            "gateway": gateway,
+            "sent": sums.sent,
+            "beyond": sums.beyond,
+            "oracle": sums.oracle,
+            "asked": sums.asked,
+        }
+        for step, row in sorted(referee.line.items())
+        for gateway, sums in sorted(row.items())
+    ]
     error = stated(scenario_plans(scenario), scenario.gateways, (end - start) / 1000.0)
-    return Result(scenario.name, seed, verdict, error, min(found, default=None), len(away),
-                  calls / max(verdict.tries, 1), watch_calls_a_second, beliefs, line)
+    return Result(
+        scenario.name,
+        seed,
+        verdict,
+        error,
+        min(found, default=None),
+        len(away),
+        calls / max(verdict.tries, 1),
+        watch_calls_a_second,
+        beliefs,
+        line,
+    )
 
 
 def within_stated(result: Result) -> bool:
--- a/lab/sim/world.py
+++ b/lab/sim/world.py
@@ -42,8 +42,9 @@
         self._gateways: list[Gateway | Guarded | None] = [None] * scenario.gateways
         self._lives = [0] * scenario.gateways
         self._dead_at = [math.inf] * scenario.gateways
-        self._servers = tuple(api.Server(number + 1, "hall-a", "std", 0, api.State.UP)
-                              for number in range(scenario.servers))
+        self._servers = tuple(
+            api.Server(number + 1, "hall-a", "std", 0, api.State.UP) for number in range(scenario.servers)
+        )
         self._customers = draw_customers(scenario, rng)
         self._spike = 1.0
         self._rids = self._calls = self._watch_calls = 0
@@ -123,8 +124,9 @@
                     pass
         if isinstance(made, Guarded):
             for change in made.take_changes():
-                self.beliefs.append(Shown(round(self.now, 3), gateway, change.new.value, change.sign.value,
-                                          change.hidden))
+                self.beliefs.append(
+                    Shown(round(self.now, 3), gateway, change.new.value, change.sign.value, change.hidden)
+                )
 
     def _answer(self, rid: str, kind: str, wait_ms: float = 0.0) -> None:
         found = self._queries.pop(rid, None)
@@ -145,9 +147,11 @@
         scenario, rng = self.scenario, self._rng
         gateway = customer.door(self.now, rng, scenario.gateways)
         if self._gateways[gateway] is None:
-            alive = [number for number in ((customer.first + step) % scenario.gateways
-                                           for step in range(customer.spread))
-                     if self._gateways[number] is not None]
+            alive = [
+                number
+                for number in ((customer.first + step) % scenario.gateways for step in range(customer.spread))
+                if self._gateways[number] is not None
+            ]
             if not alive or self.now - self._dead_at[gateway] < FRONT_MS:
                 return  # the front has not noticed yet, or there is nobody else
             gateway = rng.choice(alive)
@@ -157,9 +161,23 @@
         plan = customer.crowd.plan
         self.referee.tried(self.now, rid, customer.number, plan, units, gateway)
         self._queries[rid] = gateway, customer, units, again
-        self._at(self.now + rng.uniform(*HOP_MS), self._arrive, gateway, self._lives[gateway], api.Request(
-            rid, "balance-check", plan, customer.number, DEADLINE_MS, float(units), customer.spread,
-            customer.first, again))
+        self._at(
+            self.now + rng.uniform(*HOP_MS),
+            self._arrive,
+            gateway,
+            self._lives[gateway],
+            api.Request(
+                rid,
+                "balance-check",
+                plan,
+                customer.number,
+                DEADLINE_MS,
+                float(units),
+                customer.spread,
+                customer.first,
+                again,
+            ),
+        )
 
     def _arrive(self, gateway: int, life: int, request: api.Request) -> None:
         if life != self._lives[gateway]:
@@ -180,8 +198,9 @@
     def _reach(self, rid: str, customer: Customer, units: int, gateway: int) -> None:
         self.referee.arrived(self.now, rid, customer.number, customer.crowd.plan, units, gateway)
 
-    def _served(self, gateway: int, life: int, rid: str, server: int, sent: float, units: int,
-                customer: Customer) -> None:
+    def _served(
+        self, gateway: int, life: int, rid: str, server: int, sent: float, units: int, customer: Customer
+    ) -> None:
         if life != self._lives[gateway]:
             return
         true = float(units)
@@ -202,8 +221,13 @@
         answer = self.counter.call(self.now, gateway, name, units, expire)
         late = sent + self.scenario.counter_timeout_ms
         back = answer.at_ms + self._rng.uniform(*HOP_MS)
-        verdict = {"ok": api.Verdict.OK, "full": api.Verdict.FULL, "refused": api.Verdict.CONNECT_FAILED,
-                   "spoilt": api.Verdict.TIMEOUT, "silent": api.Verdict.TIMEOUT}[answer.fate]
+        verdict = {
+            "ok": api.Verdict.OK,
+            "full": api.Verdict.FULL,
+            "refused": api.Verdict.CONNECT_FAILED,
+            "spoilt": api.Verdict.TIMEOUT,
+            "silent": api.Verdict.TIMEOUT,
+        }[answer.fate]
         if answer.fate == "silent" or back > late:
             verdict, back = api.Verdict.TIMEOUT, late
         total = api.Total(name, verdict, back - sent, answer.total if verdict is api.Verdict.OK else 0.0)
@@ -216,8 +240,14 @@
             if isinstance(made, Guarded):
                 self._watch_calls += made.calls_made
         seconds = self.now / 1000.0
-        return conclude(self.scenario, self.seed, self.referee, self.beliefs, self._calls,
-                        self._watch_calls / seconds / max(self.scenario.started, 1))
+        return conclude(
+            self.scenario,
+            self.seed,
+            self.referee,
+            self.beliefs,
+            self._calls,
+            self._watch_calls / seconds / max(self.scenario.started, 1),
+        )
 
 
 def play(scenario: Scenario, seed: int) -> Result:
--- a/lab/stage/agent.py
+++ b/lab/stage/agent.py
@@ -31,7 +31,8 @@
                 continue
             empty = json.dumps({"version": self._version, "full": False, "servers": []}).encode()
             self._timer = asyncio.get_running_loop().call_later(
-                min(int(wait.group(1)) if wait else 0, 60_000) / 1000.0, self._answer, empty)
+                min(int(wait.group(1)) if wait else 0, 60_000) / 1000.0, self._answer, empty
+            )
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._transport = None
@@ -40,14 +41,26 @@
 
     def _answer(self, body: bytes) -> None:
         if self._transport is not None:
-            self._transport.write(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
-                                  b"Content-Length: %d\r\n\r\n%b" % (len(body), body))
+            self._transport.write(
+                b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+                b"Content-Length: %d\r\n\r\n%b" % (len(body), body)
+            )
 
 
 def roster(addresses: dict[int, str], cold: Iterable[int] = (), started_ms: int = 0) -> bytes:
     """The list, from each server's number to its address; the cold ones started at a Unix time in ms."""
     fresh = set(cold)
-    servers = [{"id": f"s-{number:08x}", "addr": address, "zone": "hall-a", "kind": "std", "cell": 0,
-                "state": "active", "weight": 1.0, "started_ms": started_ms if number in fresh else 0}
-               for number, address in addresses.items()]
+    servers = [
+        {
+            "id": f"s-{number:08x}",
+            "addr": address,
+            "zone": "hall-a",
+            "kind": "std",
+            "cell": 0,
+            "state": "active",
+            "weight": 1.0,
+            "started_ms": started_ms if number in fresh else 0,
+        }
+        for number, address in addresses.items()
+    ]
     return json.dumps({"version": 1, "full": True, "servers": servers}).encode()
--- a/lab/stage/clients.py
+++ b/lab/stage/clients.py
@@ -75,8 +75,10 @@
         while True:
             said: asyncio.Future[object] = loop.create_future()
             try:
-                transport, _ = await loop.create_connection(lambda said=said: _Ping(said),  # type: ignore[misc]
-                                                            *self.address)
+                transport, _ = await loop.create_connection(
+                    lambda said=said: _Ping(said),  # type: ignore[misc]
+                    *self.address,
+                )
                 got = await asyncio.wait_for(said, 1.0)
                 transport.close()
                 if got == "+PONG":
@@ -110,8 +112,8 @@
         self._done: Done | None = None
 
     def usable(self) -> bool:
-        """Whether the far end has not closed it.  What lies unread tells, though this process may be late to read it: a
-        client of its own would have known."""
+        """Whether the far end has not closed it.  What lies unread tells, though this process may be late
+        to read it: a client of its own would have known."""
         if self.transport is None or self.transport.is_closing():
             return False
         look = select.poll()
@@ -131,12 +133,15 @@
         if done is None:
             self.end()
             return
-        served = isinstance(value, bytes) or (isinstance(value, list) and bool(value)
-                                              and isinstance(value[0], bytes))
+        served = isinstance(value, bytes) or (
+            isinstance(value, list) and bool(value) and isinstance(value[0], bytes)
+        )
         refused = isinstance(value, str) and value.startswith("-BUSY")
         wait = value.split(" ")[1:2] if refused and isinstance(value, str) else []
-        done("served" if served else "refused" if refused else "failed",
-             float(wait[0]) if wait and wait[0].isdigit() else 0.0)
+        done(
+            "served" if served else "refused" if refused else "failed",
+            float(wait[0]) if wait and wait[0].isdigit() else 0.0,
+        )
         self._door.free(self)
 
     def ended(self) -> None:
--- a/lab/stage/counter.py
+++ b/lab/stage/counter.py
@@ -29,7 +29,8 @@
 
     async def _listen(self, gateway: int, port: int) -> int:
         made = await asyncio.get_running_loop().create_server(
-            lambda: _Link(self, gateway), "127.0.0.1", port, backlog=64)
+            lambda: _Link(self, gateway), "127.0.0.1", port, backlog=64
+        )
         self._listeners.append(made)
         return int(made.sockets[0].getsockname()[1])
 
--- a/lab/stage/fleet.py
+++ b/lab/stage/fleet.py
@@ -1,8 +1,9 @@
-"""What gateways share, with real processes: their files, their links, what is done to them, and what is seen of it.
+"""What gateways share, with real processes: their files, their links, what is done to them, and what is seen
+of it.
 
-The referee's figures of promises come from the client's book alone, those of connections from the servers.  What no
-outsider can see (who leads which term, whether the copies are whole, whether a rule of the code is broken) is asked of
-the gateways' second addresses, each of them, ten times a second.
+The referee's figures of promises come from the client's book alone, those of connections from the servers.
+What no outsider can see (who leads which term, whether the copies are whole, whether a rule of the code is
+broken) is asked of the gateways' second addresses, each of them, ten times a second.
 """
 
 from __future__ import annotations
@@ -41,11 +42,17 @@
 FOUNDED_S = 20.0
 WHOLE_S = 30.0  # for which a fault that waits for whole copies is put off at the most
 READ_S, READ_EACH_S = 20.0, 0.05  # for reading back, the calls of a busy machine among them
-DRAIN_MS, WARM_MS = 10_000.0, 500.0  # for a gateway to become empty or come back, and from then to the next wave
+DRAIN_MS, WARM_MS = (
+    10_000.0,
+    500.0,
+)  # for a gateway to become empty or come back, and from then to the next wave
 ROLLED_S = 120.0  # for which the end waits for a roll at the most
 DOWN_S = 2.0  # that a scheduling leader which was killed stays down
 MARKS = {  # in a gateway's log, what a wave takes without any schedule
-    "pause: turning clients away": "paused", "to turn away: drained": "drained", "sigterm: leaving": "leaving"}
+    "pause: turning clients away": "paused",
+    "to turn away: drained": "drained",
+    "sigterm: leaving": "leaving",
+}
 MOST_LOOKS = 10_000  # at one contract's calls
 ROOM_S = 0.25  # before a contract that found no room is proposed again: the capacity may not be stated yet
 TOLD_S = 4.0  # until what the last requests were short is told
@@ -58,15 +65,24 @@
     step = next((fault for fault in scenario.faults if fault.word == "step"), None)
     if step is None:
         return ""
-    return (f"line {step.line}: step: the wall clock of one process cannot be stepped without privileges on the "
-            "machine; play it in simulated time: badgeryoke lab sim")
+    return (
+        f"line {step.line}: step: the wall clock of one process cannot be stepped without privileges on the "
+        "machine; play it in simulated time: badgeryoke lab sim"
+    )
 
 
 class FleetStage:
     """The part of a stage that is there where the scenario says (fleet on)."""
 
-    def __init__(self, scenario: Scenario, rng: random.Random, clock: Callable[[], float],
-                 event: Callable[..., None], listen: list[Address], mgmt: list[Address]) -> None:
+    def __init__(
+        self,
+        scenario: Scenario,
+        rng: random.Random,
+        clock: Callable[[], float],
+        event: Callable[..., None],
+        listen: list[Address],
+        mgmt: list[Address],
+    ) -> None:
         self.scenario, self._rng, self._clock, self._event = scenario, rng, clock, event
         self.links = Links(scenario.gateways, rng)
         self.links.targets = dict(enumerate(listen))
@@ -80,7 +96,9 @@
         self._leaders: dict[tuple[str, int], set[str]] = {}
         self._broken: dict[int, int] = {}
         self._loss_at: float | None = None
-        self._losses: list[float] = []  # when a gateway was lost, or links cut: 2 s after it the floor is not judged
+        self._losses: list[
+            float
+        ] = []  # when a gateway was lost, or links cut: 2 s after it the floor is not judged
         self.restored_ms: float | None = None
         self._tasks: list[asyncio.Task[None]] = []
         self._roll_tasks: list[asyncio.Task[None]] = []
@@ -101,13 +119,29 @@
     def file(self, me: int) -> str:
         """The [fleet] section of one gateway's file: it reaches the others by the laboratory's links."""
         scenario = self.scenario
-        lines = ["[fleet]", "enabled = true", f'name = "{NAME}"', f'me = "g{me + 1}"', f'folder = "{STORE}"',
-                 f"copies = {scenario.copies}", f"groups = {GROUPS}", f"capacity = {self.capacity():.1f}", "",
-                 "[fleet.servers]", f"connections = {scenario.connections}", ""]
+        lines = [
+            "[fleet]",
+            "enabled = true",
+            f'name = "{NAME}"',
+            f'me = "g{me + 1}"',
+            f'folder = "{STORE}"',
+            f"copies = {scenario.copies}",
+            f"groups = {GROUPS}",
+            f"capacity = {self.capacity():.1f}",
+            "",
+            "[fleet.servers]",
+            f"connections = {scenario.connections}",
+            "",
+        ]
         for other in range(scenario.gateways):
             host, port = self.links.targets[me] if other == me else ("127.0.0.1", self.links.ports[me, other])
-            lines += ["[[fleet.members]]", f'name = "g{other + 1}"',
-                      f'hall = "hall-{"abcdefghi"[other % scenario.halls]}"', f'address = "{host}:{port}"', ""]
+            lines += [
+                "[[fleet.members]]",
+                f'name = "g{other + 1}"',
+                f'hall = "hall-{"abcdefghi"[other % scenario.halls]}"',
+                f'address = "{host}:{port}"',
+                "",
+            ]
         return "\n".join(lines)
 
     def capacity(self) -> float:
@@ -124,8 +158,8 @@
             raise RuntimeError(f"the fleet was not founded within {FOUNDED_S:g} s: {self._state()}")
 
     def begin(self, customers: dict[int, int]) -> None:
-        """Look, make promises, propose the contracts and ask for the rolls.  `customers`: from their number in the
-        text to their own."""
+        """Look, make promises, propose the contracts and ask for the rolls.  `customers`: from their
+        number in the text to their own."""
         loop, scenario = asyncio.get_running_loop(), self.scenario
         self._tasks.append(loop.create_task(self._watch()))
         if scenario.proposals:
@@ -149,26 +183,44 @@
 
     async def _propose(self, text: ContractText, customers: list[int]) -> None:
         begun = time.time() * 1000.0 - self._clock()
-        terms = {"tenant": text.name, "customers": customers, "rate": text.rate, "burst": text.burst,
-                 "rank": min(text.importance, 9),
-                 "windows": [{"from_ms": begun + text.from_ms, "to_ms": begun + text.to_ms}]}
+        terms = {
+            "tenant": text.name,
+            "customers": customers,
+            "rate": text.rate,
+            "burst": text.burst,
+            "rank": min(text.importance, 9),
+            "windows": [{"from_ms": begun + text.from_ms, "to_ms": begun + text.to_ms}],
+        }
         answer: Answer = None, "no-room"
         tries = 0
         while answer[1] == "no-room" and self._clock() < text.from_ms:
             tries += 1
-            answer = await self.call("Propose", id=f"lab/{text.name}/{tries}", contract=text.name, terms=terms)
+            answer = await self.call(
+                "Propose", id=f"lab/{text.name}/{tries}", contract=text.name, terms=terms
+            )
             if answer[1] == "no-room":
                 await asyncio.sleep(ROOM_S)
-        self.contracts[text.name] = {"admitted": not answer[1], "error": answer[1] or None, "tries": tries,
-                                     "at_ms": round(self._clock(), 1)}
+        self.contracts[text.name] = {
+            "admitted": not answer[1],
+            "error": answer[1] or None,
+            "tries": tries,
+            "at_ms": round(self._clock(), 1),
+        }
         self._event("contract", name=text.name, answer=answer[0], error=answer[1], tries=tries)
 
     async def _roll(self, text: RollText) -> None:
         await asyncio.sleep(max(text.from_ms - self._clock(), 0.0) / 1000.0)
         before, self.roll_state = self.roll_lost, "asked"
-        answer = await self.call("RollAsk", id=f"lab/{text.name}", roll=text.name, at_once=text.at_once,
-                                 gateways=[f"g{number}" for number in text.gateways], reason="laboratory",
-                                 deadline_ms=DRAIN_MS, warm_ms=WARM_MS)
+        answer = await self.call(
+            "RollAsk",
+            id=f"lab/{text.name}",
+            roll=text.name,
+            at_once=text.at_once,
+            gateways=[f"g{number}" for number in text.gateways],
+            reason="laboratory",
+            deadline_ms=DRAIN_MS,
+            warm_ms=WARM_MS,
+        )
         self._event("roll", name=text.name, answer=answer[0], error=answer[1])
         if answer[1]:
             self.roll_state = answer[1]
@@ -190,24 +242,43 @@
         took = self._clock() - asked_at
         await self.until(lambda: not self._marks, 5.0)
         self._rolled(text, took, kills)
-        self._event("roll", name=text.name, state=self.roll_state, lost=self.roll_lost - before, **self.rolls[-1])
+        self._event(
+            "roll", name=text.name, state=self.roll_state, lost=self.roll_lost - before, **self.rolls[-1]
+        )
 
     def _rolled(self, text: RollText, took: float, kills: list[str]) -> None:
-        """How long it took, and the least that the limits allow, with waves as long as those of this very roll."""
-        groups = {group: tuple(one.partition("/")[0] for one in facts["voters"]) for status in self.seen.values()
-                  for group, facts in status["groups"].items() if facts["behind"] is not None}
+        """How long it took, and the least that the limits allow, with waves as long as those of this very
+        roll."""
+        groups = {
+            group: tuple(one.partition("/")[0] for one in facts["voters"])
+            for status in self.seen.values()
+            for group, facts in status["groups"].items()
+            if facts["behind"] is not None
+        }
         halls = {f"g{me + 1}": str(me % self.scenario.halls) for me in range(self.scenario.gateways)}
         wave = sum(self._waves) / len(self._waves) if self._waves else 0.0
         least = least_ms([f"g{number}" for number in text.gateways], groups, halls, text.at_once, 0.0, wave)
-        self.rolls.append({"roll": text.name, "took_ms": round(took, 1), "least_ms": round(least, 1),
-                           "wave_ms": round(wave, 1), "restarts": len(self._waves), "not_killed_at": kills,
-                           "ratio": round(took / least, 3) if least else None})
+        self.rolls.append(
+            {
+                "roll": text.name,
+                "took_ms": round(took, 1),
+                "least_ms": round(least, 1),
+                "wave_ms": round(wave, 1),
+                "restarts": len(self._waves),
+                "not_killed_at": kills,
+                "ratio": round(took / least, 3) if least else None,
+            }
+        )
 
     async def _kill_leader(self, stand: str) -> None:
-        """SIGKILL for the gateway that leads the fleet's own group, which schedules rolls; it comes back later."""
+        """SIGKILL for the gateway that leads the fleet's own group, which schedules rolls; it comes back
+        later."""
         await self.look()
-        leads = {int(facts["term"]): me for me, status in self.seen.items()
-                 if (facts := status["groups"].get(FLEET)) is not None and facts["behind"] is not None}
+        leads = {
+            int(facts["term"]): me
+            for me, status in self.seen.items()
+            if (facts := status["groups"].get(FLEET)) is not None and facts["behind"] is not None
+        }
         if not leads or self.fell is None or self.raise_ is None:
             self._event("leader not found", stand=stand)
             return
@@ -267,17 +338,25 @@
         def ended(kind: str) -> None:
             if kind == "served":
                 book.serve(self._clock(), units, token)
+
         return ended
 
     def cut(self, me: int) -> bool:
         """Whether a gateway is joined to no more than half of them."""
-        return 2 * sum(other == me or self.links.joined(me, other) for other in range(self.scenario.gateways)) <= (
-            self.scenario.gateways)
+        return 2 * sum(
+            other == me or self.links.joined(me, other) for other in range(self.scenario.gateways)
+        ) <= (self.scenario.gateways)
 
     def shortfall_error(self) -> float | None:
         """See lab.fleet.books; of contracts that were admitted."""
-        return max((book.error(self._told_short[name]) for name, book in self._books.items()
-                    if name in self._told_short), default=None)
+        return max(
+            (
+                book.error(self._told_short[name])
+                for name, book in self._books.items()
+                if name in self._told_short
+            ),
+            default=None,
+        )
 
     def floor(self) -> float | None:
         """See lab.fleet.books; of contracts that were admitted."""
@@ -297,11 +376,15 @@
     async def look(self) -> None:
         """Ask each that runs where it stands."""
         up = [me for me, gateway in enumerate(self.gateways) if gateway.running and me not in self.frozen]
-        answers = await asyncio.gather(*(fleet_call(self.mgmt[me], "Status", {"id": "status"}, STATUS_S) for me in up))
+        answers = await asyncio.gather(
+            *(fleet_call(self.mgmt[me], "Status", {"id": "status"}, STATUS_S) for me in up)
+        )
         now = self._clock()
         self.seen = {me: value for me, (value, error) in zip(up, answers, strict=True) if not error}
         for me, status in self.seen.items():
-            ended = any("invariant-broken" in error for error in status.get("errors", ()))  # it has no part any more
+            ended = any(
+                "invariant-broken" in error for error in status.get("errors", ())
+            )  # it has no part any more
             self._broken[me] = max(self._broken.get(me, 0), int(status.get("broken", 0)), int(ended))
             for name, stake in status.get("contracts", {}).items():
                 self._drawn[name, me] = max(self._drawn.get((name, me), 0.0), stake["drawn"])
@@ -320,15 +403,24 @@
             self._loss_at = None
 
     def whole(self) -> bool:
-        """Whether each group has a leader that says so: all copies there, on members that run, and none behind."""
+        """Whether each group has a leader that says so: all copies there, on members that run, and none
+        behind."""
         ids = {status["me"] for status in self.seen.values()}
         count = copies_for(self.scenario.copies, self.scenario.gateways)
         for group in (FLEET, *(f"g{number}" for number in range(GROUPS))):
-            leads = [facts for status in self.seen.values() if (facts := status["groups"].get(group)) is not None
-                     and facts["behind"] is not None]
+            leads = [
+                facts
+                for status in self.seen.values()
+                if (facts := status["groups"].get(group)) is not None and facts["behind"] is not None
+            ]
             facts = max(leads, key=lambda one: int(one["term"]), default=None)
-            if (facts is None or facts["behind"] or facts["learners"] or len(facts["voters"]) < count
-                    or not ids.issuperset(facts["voters"])):
+            if (
+                facts is None
+                or facts["behind"]
+                or facts["learners"]
+                or len(facts["voters"]) < count
+                or not ids.issuperset(facts["voters"])
+            ):
                 return False
         return True
 
@@ -338,8 +430,10 @@
     def majority(self) -> bool:
         """Whether more than half of all gateways run and hear each other."""
         up = [me for me, gateway in enumerate(self.gateways) if gateway.running and me not in self.frozen]
-        return any(2 * sum(other == me or self.links.joined(me, other) for other in up) > self.scenario.gateways
-                   for me in up)
+        return any(
+            2 * sum(other == me or self.links.joined(me, other) for other in up) > self.scenario.gateways
+            for me in up
+        )
 
     async def until_whole(self) -> bool:
         """Put a fault off until the copies are whole again; it is left out where they are not in time."""
@@ -404,7 +498,8 @@
                 for name, one in value["contracts"].items():
                     self._told_short[name] = sum(one["short"].values())
                     book, took = self._books[name], sorted(self._lease_ms.get(name, [0.0]))
-                    # By the gateways' own count of what they drew, in which nothing is that was served as to anybody.
+                    # By the gateways' own count of what they drew, in which nothing is that was served as to
+                    # anybody.
                     drawn = sum(units for (contract, _), units in self._drawn.items() if contract == name)
                     due = sum(due for due, _ in book.times)
                     lacked = one["short"].get("no lease", 0.0)
@@ -412,11 +507,15 @@
                         lacked_error=round(abs(lacked - due + drawn) / max(due - drawn, FEW * due, 1.0), 4),
                         state=one["state"],
                         worst=dict(sorted(self._seconds(name).items(), key=lambda found: found[1])[:5]),
-                        lease_ms={f"p{part}": round(took[len(took) * part // 100], 1) for part in (50, 90, 99)},
+                        lease_ms={
+                            f"p{part}": round(took[len(took) * part // 100], 1) for part in (50, 90, 99)
+                        },
                         told_short={cause: round(units, 2) for cause, units in one["short"].items()},
                         drawn=round(drawn, 1),
-                        short=round(book.short(), 2), due=round(due, 1),
-                        served=round(sum(served for _, served in book.times), 1))
+                        short=round(book.short(), 2),
+                        due=round(due, 1),
+                        served=round(sum(served for _, served in book.times), 1),
+                    )
         await self.client.read_back(READ_S + READ_EACH_S * len(self.book.acknowledged))
 
     def close(self) -> None:
@@ -430,12 +529,21 @@
         """All that was seen."""
         book, scenario = self.book, self.scenario
         return FleetFigures(
-            promises_acknowledged=len(book.acknowledged), promises_lost=len(book.lost) + len(book.unread),
-            promises_twice=len(book.twice), leaders_in_a_term=max(map(len, self._leaders.values()), default=0),
-            unavailable_ms=book.longest_ms, copies_restored_ms=self.restored_ms,
-            contract_floor=self.floor(), shortfall_error=self.shortfall_error(),
-            connections_over=(max(max(one.most_open - scenario.connections, 0) for one in servers)
-                              if scenario.connections else None),
-            roll_state=self.roll_state, roll_lost=self.roll_lost if scenario.rolls else None,
+            promises_acknowledged=len(book.acknowledged),
+            promises_lost=len(book.lost) + len(book.unread),
+            promises_twice=len(book.twice),
+            leaders_in_a_term=max(map(len, self._leaders.values()), default=0),
+            unavailable_ms=book.longest_ms,
+            copies_restored_ms=self.restored_ms,
+            contract_floor=self.floor(),
+            shortfall_error=self.shortfall_error(),
+            connections_over=(
+                max(max(one.most_open - scenario.connections, 0) for one in servers)
+                if scenario.connections
+                else None
+            ),
+            roll_state=self.roll_state,
+            roll_lost=self.roll_lost if scenario.rolls else None,
             invariants_broken=sum(self._broken.values()),
-            roll_ratio=max((one["ratio"] for one in self.rolls if one["ratio"] is not None), default=None))
+            roll_ratio=max((one["ratio"] for one in self.rolls if one["ratio"] is not None), default=None),
+        )
--- a/lab/stage/links.py
+++ b/lab/stage/links.py
@@ -1,10 +1,10 @@
-"""The laboratory's own links between gateways: each ordered pair has a port on loopback, and what goes wrong on the
-way from one to another is set by that pair.
+"""The laboratory's own links between gateways: each ordered pair has a port on loopback, and what goes wrong
+on the way from one to another is set by that pair.
 
-Gateway i reaches j by the port (i, j); what i says to j goes by the way i -> j, and what j says back on the same
-connection by j -> i, so that a one-way cut is one way whoever has called.  A cut swallows: both ends keep their halves
-of the connection, as on a real network, until the way is mended; a connection that lost bytes on it is then broken off,
-since TCP would not have gone on behind the gap either.
+Gateway i reaches j by the port (i, j); what i says to j goes by the way i -> j, and what j says back on the
+same connection by j -> i, so that a one-way cut is one way whoever has called.  A cut swallows: both ends
+keep their halves of the connection, as on a real network, until the way is mended; a connection that lost
+bytes on it is then broken off, since TCP would not have gone on behind the gap either.
 """
 
 from __future__ import annotations
@@ -52,8 +52,12 @@
         """One port for each ordered pair."""
         loop = asyncio.get_running_loop()
         for pair in self.ways:
-            made = await loop.create_server(lambda pair=pair: _End(_Pair(self, *pair), 0),  # type: ignore[misc]
-                                            "127.0.0.1", 0, backlog=64)
+            made = await loop.create_server(
+                lambda pair=pair: _End(_Pair(self, *pair), 0),  # type: ignore[misc]
+                "127.0.0.1",
+                0,
+                backlog=64,
+            )
             self._listeners.append(made)
             self.ports[pair] = int(made.sockets[0].getsockname()[1])
 
@@ -100,7 +104,9 @@
         if (old := self._timers.pop(key, None)) is not None:
             old.cancel()
         if (rate := self.ways[key].resets) > 0:
-            self._timers[key] = asyncio.get_running_loop().call_later(self._rng.expovariate(rate), self._reset, key)
+            self._timers[key] = asyncio.get_running_loop().call_later(
+                self._rng.expovariate(rate), self._reset, key
+            )
 
     def _reset(self, key: tuple[int, int]) -> None:
         for pair in list(self.open):
@@ -133,15 +139,17 @@
         self.ended = False
 
     async def connect(self, address: tuple[str, int]) -> None:
-        """The far half.  Through a cut nobody is reached; the near half stays, as SYNs would go unanswered."""
+        """The far half.  Through a cut nobody is reached; the near half stays, as SYNs would go
+        unanswered."""
         while not self.ended and not self.owner.joined(self.caller, self.called):
             self.waits = True
             await asyncio.sleep(0.02)
         if self.ended:
             return
         try:
-            await asyncio.wait_for(asyncio.get_running_loop().create_connection(lambda: _End(self, 1), *address),
-                                   CONNECT_S)
+            await asyncio.wait_for(
+                asyncio.get_running_loop().create_connection(lambda: _End(self, 1), *address), CONNECT_S
+            )
         except (OSError, TimeoutError):
             self.end()
 
@@ -164,7 +172,9 @@
         self.transport: asyncio.Transport | None = None
         sender, receiver = (pair.caller, pair.called) if side == 0 else (pair.called, pair.caller)
         self._way = pair.owner.ways[sender, receiver]
-        self._held: deque[tuple[float, bytes]] = deque()  # read here, for the other end, with when it is due there
+        self._held: deque[tuple[float, bytes]] = (
+            deque()
+        )  # read here, for the other end, with when it is due there
         self._bytes = 0
         self._timer: asyncio.TimerHandle | None = None
         self._finished = self._full = False
@@ -188,7 +198,7 @@
             self.gap = True
             return
         for at in range(0, len(data), MOST_PIECE):
-            piece = data[at:at + MOST_PIECE]
+            piece = data[at : at + MOST_PIECE]
             due = now + way.delay_ms / 1000.0
             if way.bytes_s:
                 way.free_at = max(way.free_at, now) + len(piece) / way.bytes_s
--- a/lab/stage/process.py
+++ b/lab/stage/process.py
@@ -25,60 +25,135 @@
 def wire_settings(scenario: Scenario, me: int) -> dict[str, Any]:
     """The settings object that a gateway is told, in the platform's names."""
     return {
-        "me": me, "instances": scenario.gateways, "zone": "hall-a", "zones": ["hall-a"], "tick_ms": 4.0,
-        "kinds": ["std"], "discovery": "automatic", "weight_kind": "rough",
-        "classes": [{"name": "balance-check", "slo_ms": 400.0, "deadline_ms": 2000.0,
-                     "idempotency": "idempotent", "group": "all", "window_ms": 0.0, "worth": 1.0}],
-        "contracts": [{"name": plan.name, "units_per_s": plan.rate, "most_at_once": plan.burst, "open": 0,
-                       "worth_factor": plan.price, "over_worth": 0.0, "beyond_costs": plan.over_cost,
-                       "hard_rate": plan.ceiling_rate, "cap_depth": plan.ceiling_burst,
-                       "tolerance": plan.slack} for plan in scenario.plans],
-        "family_info": {"has_counter": True, "counter_timeout_ms": scenario.counter_timeout_ms,
-                        "max_units": max((crowd.units[1] for crowd in scenario.crowds), default=1),
-                        "trued_up": True},
+        "me": me,
+        "instances": scenario.gateways,
+        "zone": "hall-a",
+        "zones": ["hall-a"],
+        "tick_ms": 4.0,
+        "kinds": ["std"],
+        "discovery": "automatic",
+        "weight_kind": "rough",
+        "classes": [
+            {
+                "name": "balance-check",
+                "slo_ms": 400.0,
+                "deadline_ms": 2000.0,
+                "idempotency": "idempotent",
+                "group": "all",
+                "window_ms": 0.0,
+                "worth": 1.0,
+            }
+        ],
+        "contracts": [
+            {
+                "name": plan.name,
+                "units_per_s": plan.rate,
+                "most_at_once": plan.burst,
+                "open": 0,
+                "worth_factor": plan.price,
+                "over_worth": 0.0,
+                "beyond_costs": plan.over_cost,
+                "hard_rate": plan.ceiling_rate,
+                "cap_depth": plan.ceiling_burst,
+                "tolerance": plan.slack,
+            }
+            for plan in scenario.plans
+        ],
+        "family_info": {
+            "has_counter": True,
+            "counter_timeout_ms": scenario.counter_timeout_ms,
+            "max_units": max((crowd.units[1] for crowd in scenario.crowds), default=1),
+            "trued_up": True,
+        },
         "feedback": {"fields": ["lat_ms", "rif"], "how": "answers"},
-        "policy_limits": {"try_limit": 3, "cancelling": True, "probes": False, "retry_after": True,
-                          "max_retry_after_ms": 1000.0, "dial_timeout_ms": 250.0, "conn_idle_ms": 30_000.0},
-        "rules": {"answer_slack_ms": 16.0, "cold_from": 0.16, "warm_within_ms": 14_000.0,
-                  "fall_multiple": 3.0, "overload_for_ms": 1500.0, "drain_grace_ms": 250.0}}
+        "policy_limits": {
+            "try_limit": 3,
+            "cancelling": True,
+            "probes": False,
+            "retry_after": True,
+            "max_retry_after_ms": 1000.0,
+            "dial_timeout_ms": 250.0,
+            "conn_idle_ms": 30_000.0,
+        },
+        "rules": {
+            "answer_slack_ms": 16.0,
+            "cold_from": 0.16,
+            "warm_within_ms": 14_000.0,
+            "fall_multiple": 3.0,
+            "overload_for_ms": 1500.0,
+            "drain_grace_ms": 250.0,
+        },
+    }
 
 
 class GatewayProcess:
     """One gateway and what it says."""
 
-    def __init__(self, scenario: Scenario, me: int, folder: Path, listen: tuple[str, int], agent: int,
-                 counter: int, known: bytes, said: Callable[[int, str], None], mgmt: str = "",
-                 fleet: str = "") -> None:
+    def __init__(
+        self,
+        scenario: Scenario,
+        me: int,
+        folder: Path,
+        listen: tuple[str, int],
+        agent: int,
+        counter: int,
+        known: bytes,
+        said: Callable[[int, str], None],
+        mgmt: str = "",
+        fleet: str = "",
+    ) -> None:
         self.me, self._said = me, said
         self._folder = folder / f"gateway-{me + 1}"
         (self._folder / "deploy").mkdir(parents=True, exist_ok=True)
         watch = "true" if scenario.watch else "false"
-        (self._folder / "deploy" / "badgeryoke.toml").write_text(f"[counter_watch]\nenabled = {watch}\n{fleet}")
+        (self._folder / "deploy" / "badgeryoke.toml").write_text(
+            f"[counter_watch]\nenabled = {watch}\n{fleet}"
+        )
         self.store = self._folder / STORE
         self.wipe()  # of a run before in the same folder
         (self._folder / "log").unlink(missing_ok=True)
         self._mgmt = mgmt
         self._config = self._folder / "config.json"
         self._listen, self._agent = f"{listen[0]}:{listen[1]}", f"127.0.0.1:{agent}"
-        self._config.write_text(json.dumps({
-            "name": f"g{me + 1}", "listen": self._listen, "discovery": self._agent, "seed": f"{me + 17:x}",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-            "counter": f"127.0.0.1:{counter}", "known": json.loads(known),
-            "settings": wire_settings(scenario, me)}))
+        self._config.write_text(
+            json.dumps(
+                {
+                    "name": f"g{me + 1}",
+                    "listen": self._listen,
+                    "discovery": self._agent,
+                    "seed": f"{me + 17:x}",
+                    "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+                    "counter": f"127.0.0.1:{counter}",
+                    "known": json.loads(known),
+                    "settings": wire_settings(scenario, me),
+                }
+            )
+        )
         self.process: asyncio.subprocess.Process | None = None
         self._reader: asyncio.Task[None] | None = None
         self.peak_kb = 0
 
     async def start(self) -> None:
         """Start it; what it writes is read as it comes."""
-        environ = dict(os.environ, LB_CONFIG=str(self._config), LB_NAME=f"g{self.me + 1}",
-                       LB_LISTEN=self._listen, LB_DISCOVERY=self._agent)
+        environ = dict(
+            os.environ,
+            LB_CONFIG=str(self._config),
+            LB_NAME=f"g{self.me + 1}",
+            LB_LISTEN=self._listen,
+            LB_DISCOVERY=self._agent,
+        )
         if self._mgmt:
             environ["LB_MGMT"] = self._mgmt
         environ["PYTHONPATH"] = os.pathsep.join(filter(None, [str(ROOT), environ.get("PYTHONPATH", "")]))
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "badgeryoke", cwd=self._folder, env=environ,
-            stdout=asyncio.subprocess.DEVNULL, stderr=asyncio.subprocess.PIPE)
+            sys.executable,
+            "-m",
+            "badgeryoke",
+            cwd=self._folder,
+            env=environ,
+            stdout=asyncio.subprocess.DEVNULL,
+            stderr=asyncio.subprocess.PIPE,
+        )
         self._reader = asyncio.create_task(self._read(self.process))
 
     async def _read(self, process: asyncio.subprocess.Process) -> None:
@@ -120,7 +195,9 @@
 
     def spoil(self, rng: random.Random) -> bool:
         """Flip one bit in the middle half of the largest file of its store; False where there is nothing."""
-        files = sorted((path for path in self.store.rglob("*") if path.is_file()), key=lambda path: path.stat().st_size)
+        files = sorted(
+            (path for path in self.store.rglob("*") if path.is_file()), key=lambda path: path.stat().st_size
+        )
         if not files or files[-1].stat().st_size < 16:
             return False
         with files[-1].open("r+b") as file:
--- a/lab/stage/promises.py
+++ b/lab/stage/promises.py
@@ -1,8 +1,8 @@
 """Small promises at random members, and the referee's book of them.
 
-The book holds what the client saw alone: a promise counts as acknowledged once a member has said so, and at the end
-each of these is read back through the members.  Names are never used twice, so that an answer which tells of an older
-value under the name is a promise that took effect twice.
+The book holds what the client saw alone: a promise counts as acknowledged once a member has said so, and at
+the end each of these is read back through the members.  Names are never used twice, so that an answer which
+tells of an older value under the name is a promise that took effect twice.
 """
 
 from __future__ import annotations
@@ -26,10 +26,18 @@
 AT_ONCE = 8  # reads at the end
 UNKNOWN = "unknown-outcome"
 NOBODY = "nobody-listens"  # the call was not taken for certain
-AGAIN = ("no-leader", "crowded", "new-incarnation", NOBODY, UNKNOWN)  # errors behind which the same call is made again
-
-
-async def fleet_call(address: Address, call: str, fields: dict[str, Any], within_s: float = ANSWER_S) -> Answer:
+AGAIN = (
+    "no-leader",
+    "crowded",
+    "new-incarnation",
+    NOBODY,
+    UNKNOWN,
+)  # errors behind which the same call is made again
+
+
+async def fleet_call(
+    address: Address, call: str, fields: dict[str, Any], within_s: float = ANSWER_S
+) -> Answer:
     """One FLEET call at a gateway's second address."""
     writer: asyncio.StreamWriter | None = None
     line = b"FLEET %b\n" % json.dumps({"call": call, **fields}).encode()
@@ -135,17 +143,29 @@
     def figures(self) -> dict[str, Any]:
         """Beside the fleet's figures: what else became of the promises, waits in ms."""
         waits = sorted(self.waits)
-        return {"made": self.made, "held_back": self.held_back, "refused": dict(sorted(self.refused.items())),
-                "unknown": len(self.unknown), "unread": len(self.unread),
-                "errors": dict(sorted(self.errors.items())), "longest_at_ms": round(self.longest_at, 1),
-                **{f"wait_p{part}_ms": round(waits[len(waits) * part // 100], 2) for part in (50, 99) if waits}}
+        return {
+            "made": self.made,
+            "held_back": self.held_back,
+            "refused": dict(sorted(self.refused.items())),
+            "unknown": len(self.unknown),
+            "unread": len(self.unread),
+            "errors": dict(sorted(self.errors.items())),
+            "longest_at_ms": round(self.longest_at, 1),
+            **{f"wait_p{part}_ms": round(waits[len(waits) * part // 100], 2) for part in (50, 99) if waits},
+        }
 
 
 class PromiseClient:
     """Makes so many promises a second at random members and sees each through."""
 
-    def __init__(self, addresses: list[Address], rate: float, rng: random.Random, book: Book,
-                 clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        addresses: list[Address],
+        rate: float,
+        rng: random.Random,
+        book: Book,
+        clock: Callable[[], float],
+    ) -> None:
         self._addresses, self._rate, self._rng, self.book, self._clock = addresses, rate, rng, book, clock
         self._tasks: set[asyncio.Task[None]] = set()
         self.asking = True
--- a/lab/stage/resp.py
+++ b/lab/stage/resp.py
@@ -74,7 +74,7 @@
     end = data.find(b"\r\n", at)
     if end < 0:
         return None
-    kind, rest = data[at:at + 1], data[at + 1:end]
+    kind, rest = data[at : at + 1], data[at + 1 : end]
     at = end + 2
     if kind == b"$":
         size = int(rest)
@@ -82,7 +82,7 @@
             return None if size < -1 else (None, at)
         if len(data) < at + size + 2:
             return None
-        return data[at:at + size], at + size + 2
+        return data[at : at + size], at + size + 2
     if kind == b"*":
         items: list[object] = []
         for _ in range(int(rest)):
--- a/lab/stage/run.py
+++ b/lab/stage/run.py
@@ -45,8 +45,13 @@
 class Stage:
     """One run.  `show` is told of every belief and of each second's figures as they come."""
 
-    def __init__(self, scenario: Scenario, seed: int, folder: Path | None = None,
-                 show: Callable[[dict[str, Any]], None] | None = None) -> None:
+    def __init__(
+        self,
+        scenario: Scenario,
+        seed: int,
+        folder: Path | None = None,
+        show: Callable[[dict[str, Any]], None] | None = None,
+    ) -> None:
         self.scenario, self.seed, self._show = scenario, seed, show or (lambda event: None)
         self._rng = random.Random(f"{scenario.name}/{seed}")
         self._temporary = tempfile.TemporaryDirectory() if folder is None else None
@@ -59,8 +64,18 @@
         self.beliefs: list[Shown] = []
         self.events: list[dict[str, Any]] = []
         self.latency = {kind: HdrHistogram(1, HIGHEST_US, 3) for kind in ("served", "refused", "failed")}
-        self._servers = [LoadServer(number + 1, scenario.work_ms, scenario.slots, CORES, seed, self._arrived,
-                                    number < scenario.cold) for number in range(scenario.servers)]
+        self._servers = [
+            LoadServer(
+                number + 1,
+                scenario.work_ms,
+                scenario.slots,
+                CORES,
+                seed,
+                self._arrived,
+                number < scenario.cold,
+            )
+            for number in range(scenario.servers)
+        ]
         self._customers = draw_customers(scenario, self._rng)
         self._doors: list[Door] = []
         self._gateways: list[GatewayProcess] = []
@@ -102,23 +117,44 @@
         hosts = [f"127.0.1.{me % 250 + 1}" for me in range(scenario.gateways)]
         mgmt = [(host, free_port(host)) for host in hosts]
         if scenario.fleet:
-            self.fleet = FleetStage(scenario, self._rng, lambda: self.now, self._event,
-                                    [(host, free_port(host)) for host in hosts], mgmt)
+            self.fleet = FleetStage(
+                scenario,
+                self._rng,
+                lambda: self.now,
+                self._event,
+                [(host, free_port(host)) for host in hosts],
+                mgmt,
+            )
             await self.fleet.links.listen()
             self.fleet.gateways = self._gateways
             self.fleet.fell, self.fleet.raise_ = self._fell, self._start
         for me in range(scenario.gateways):
-            body = roster({one.number: f"127.0.0.1:{one.ports[me]}" for one in self._servers},
-                          range(1, scenario.cold + 1), int(time.time() * 1000.0))
-            agent = await loop.create_server(lambda body=body: Agent(body, 1),  # type: ignore[misc]
-                                             "127.0.0.1", 0)
+            body = roster(
+                {one.number: f"127.0.0.1:{one.ports[me]}" for one in self._servers},
+                range(1, scenario.cold + 1),
+                int(time.time() * 1000.0),
+            )
+            agent = await loop.create_server(
+                lambda body=body: Agent(body, 1),  # type: ignore[misc]
+                "127.0.0.1",
+                0,
+            )
             self._agents.append(agent)
             address = hosts[me], free_port(hosts[me])
             self._doors.append(Door(address))
-            self._gateways.append(GatewayProcess(
-                scenario, me, self.folder, address, agent.sockets[0].getsockname()[1],
-                self.counter.ports[me], body, self._said,
-                *(("{}:{}".format(*mgmt[me]), self.fleet.file(me)) if self.fleet is not None else ())))
+            self._gateways.append(
+                GatewayProcess(
+                    scenario,
+                    me,
+                    self.folder,
+                    address,
+                    agent.sockets[0].getsockname()[1],
+                    self.counter.ports[me],
+                    body,
+                    self._said,
+                    *(("{}:{}".format(*mgmt[me]), self.fleet.file(me)) if self.fleet is not None else ()),
+                )
+            )
         self._begun = loop.time()
         await asyncio.gather(*(self._start(me) for me in range(min(scenario.started, scenario.gateways))))
         await asyncio.sleep(1.3)  # until every gateway has seen the others, as on any day but the first
@@ -135,8 +171,10 @@
         while not await self._doors[me].ping(0.5):
             late = asyncio.get_running_loop().time() >= until
             if late or not self._gateways[me].running:
-                raise RuntimeError(f"gateway {me + 1} {'was not ready in time' if late else 'ended at its start'}; its "
-                                   f"log: {self.folder / f'gateway-{me + 1}' / 'log'}")
+                raise RuntimeError(
+                    f"gateway {me + 1} {'was not ready in time' if late else 'ended at its start'}; its "
+                    f"log: {self.folder / f'gateway-{me + 1}' / 'log'}"
+                )
         self._doors[me].up = True
         if self.fleet is not None:
             self.fleet.mark(me, "up")
@@ -160,8 +198,14 @@
             self._tasks.append(loop.create_task(self._tend()))
         for fault in scenario.faults:
             await asyncio.sleep(max(fault.at_ms - self.now, 0.0) / 1000.0)
-            self._event("fault", word=fault.word, target=fault.target, mode=fault.mode,
-                        groups=[list(group) for group in fault.groups], amount=fault.amount)
+            self._event(
+                "fault",
+                word=fault.word,
+                target=fault.target,
+                mode=fault.mode,
+                groups=[list(group) for group in fault.groups],
+                amount=fault.amount,
+            )
             await self.happen(fault)
         while self.asking and (self.now < scenario.length_ms or self._rolling):
             await asyncio.sleep(0.05)
@@ -177,7 +221,11 @@
     @property
     def _rolling(self) -> bool:
         """Clients go on asking while a roll is under way: it is to lose none of their queries."""
-        return self.fleet is not None and self.fleet.rolling and self.now < self.scenario.length_ms + ROLLED_S * 1000.0
+        return (
+            self.fleet is not None
+            and self.fleet.rolling
+            and self.now < self.scenario.length_ms + ROLLED_S * 1000.0
+        )
 
     async def happen(self, fault: Fault) -> None:
         """One fault, now."""
@@ -199,8 +247,8 @@
             await self._start(me)
 
     async def _tend(self) -> None:
-        """What an installation has beside the gateways: a front that asks each for PING and sends clients only to
-        those that say yes, and a supervisor that starts anew what has ended by itself."""
+        """What an installation has beside the gateways: a front that asks each for PING and sends clients
+        only to those that say yes, and a supervisor that starts anew what has ended by itself."""
         while True:
             for me, gateway in enumerate(self._gateways):
                 if not gateway.running and me not in self._felled:
@@ -241,11 +289,20 @@
                 gateway.look()
             gc.collect(0)
             step = int((self.now - 1000.0) // self.referee.step_ms)
-            rows = [sums for index in range(step, step + 4)
-                    for sums in self.referee.line.get(index, {}).values()]
-            self._show({"event": "second", "at_ms": self.now, "counts": dict(self.counts),
-                        "asked": sum(row.asked for row in rows), "sent": sum(row.sent for row in rows),
-                        "beyond": sum(row.beyond for row in rows), "oracle": sum(row.oracle for row in rows)})
+            rows = [
+                sums for index in range(step, step + 4) for sums in self.referee.line.get(index, {}).values()
+            ]
+            self._show(
+                {
+                    "event": "second",
+                    "at_ms": self.now,
+                    "counts": dict(self.counts),
+                    "asked": sum(row.asked for row in rows),
+                    "sent": sum(row.sent for row in rows),
+                    "beyond": sum(row.beyond for row in rows),
+                    "oracle": sum(row.oracle for row in rows),
+                }
+            )
         if self._looking:
             loop.call_later(0.1, self._look, loop.time() + 0.1)
 
@@ -268,16 +325,21 @@
             return
         me = customer.door(self.now, rng, scenario.gateways)
         if not self._doors[me].up:
-            alive = [number for number in ((customer.first + step) % scenario.gateways
-                                           for step in range(customer.spread)) if self._doors[number].up]
+            alive = [
+                number
+                for number in ((customer.first + step) % scenario.gateways for step in range(customer.spread))
+                if self._doors[number].up
+            ]
             if not alive or self.now - self._dead_at[me] < FRONT_S * 1000.0:
                 return
             me = rng.choice(alive)
         units = rng.randint(*customer.crowd.units)
         self._rids += 1
         rid, plan, sent = f"{self._rids:016x}", customer.crowd.plan, self.now
-        fields = (f"c=balance-check,t={plan},d={DEADLINE_MS:.0f},units={units},spread={customer.spread},"
-                  f"first={customer.first}{',r=1' if again else ''}")
+        fields = (
+            f"c=balance-check,t={plan},d={DEADLINE_MS:.0f},units={units},spread={customer.spread},"
+            f"first={customer.first}{',r=1' if again else ''}"
+        )
 
         def done(kind: str, wait_ms: float = 0.0) -> None:
             if kind == "refused" and not again and rng.random() < customer.crowd.retries:
@@ -293,10 +355,15 @@
             self.referee.answered(self.now, rid, kind)
             self.latency[kind].record_value(max(int((self.now - sent) * 1000.0), 1))
 
-        ended = self.fleet.asked(customer.number, sent, units, me) if self.fleet is not None else lambda kind: None
+        ended = (
+            self.fleet.asked(customer.number, sent, units, me)
+            if self.fleet is not None
+            else lambda kind: None
+        )
         self.referee.tried(sent, rid, customer.number, plan, units, me)
-        if not self._doors[me].ask(words(b"SVC.QUERY", b"%016x" % customer.number, rid.encode(),
-                                         fields.encode()), done):
+        if not self._doors[me].ask(
+            words(b"SVC.QUERY", b"%016x" % customer.number, rid.encode(), fields.encode()), done
+        ):
             done("lost")
 
     def _arrived(self, customer: int, rid: str, fields: dict[str, str], gateway: int) -> None:
@@ -315,19 +382,37 @@
         shown = Shown(round(self.now, 1), me, found.group(1), found.group(2).strip(), hidden)
         if shown.at_ms >= 0 or shown.belief != "sound":
             self.beliefs.append(shown)
-        self._event("belief", gateway=me + 1, belief=shown.belief, sign=shown.sign,
-                    hidden=[number + 1 for number in hidden])
+        self._event(
+            "belief",
+            gateway=me + 1,
+            belief=shown.belief,
+            sign=shown.sign,
+            hidden=[number + 1 for number in hidden],
+        )
 
     def extra_figures(self) -> dict[str, Any]:
         """Figures that only sockets have: latencies in ms, memory in MB, how late the emulator ran in ms."""
         return {
-            "latency_ms": {kind: {f"p{part:g}": round(one.get_value_at_percentile(part) / 1000.0, 2)
-                                  for part in (50, 90, 99, 99.9)}
-                           for kind, one in self.latency.items() if one.get_total_count()},
+            "latency_ms": {
+                kind: {
+                    f"p{part:g}": round(one.get_value_at_percentile(part) / 1000.0, 2)
+                    for part in (50, 90, 99, 99.9)
+                }
+                for kind, one in self.latency.items()
+                if one.get_total_count()
+            },
             "memory_mb": [round(gateway.peak_kb / 1024.0, 1) for gateway in self._gateways],
             "emulator_lag_ms": round(self.worst_lag_ms, 1),
-            **({"promises": self.fleet.book.figures(), "rolls": self.fleet.rolls,
-                "contracts": self.fleet.contracts} if self.fleet is not None else {})}
+            **(
+                {
+                    "promises": self.fleet.book.figures(),
+                    "rolls": self.fleet.rolls,
+                    "contracts": self.fleet.contracts,
+                }
+                if self.fleet is not None
+                else {}
+            ),
+        }
 
     def fleet_figures(self) -> FleetFigures:
         """What the fleet's part of the run came to; all empty where there is none."""
--- a/lab/stage/servers.py
+++ b/lab/stage/servers.py
@@ -19,8 +19,16 @@
 class LoadServer:
     """One server; every gateway reaches it at an address of its own, so that the referee knows who sent."""
 
-    def __init__(self, number: int, work_ms: tuple[float, float], slots: int, cores: int, seed: int,
-                 arrived: Arrived, cold: bool = False) -> None:
+    def __init__(
+        self,
+        number: int,
+        work_ms: tuple[float, float],
+        slots: int,
+        cores: int,
+        seed: int,
+        arrived: Arrived,
+        cold: bool = False,
+    ) -> None:
         self.number, self._work, self._slots, self._cores = number, work_ms, slots, cores
         self._rng = random.Random(f"server/{seed}/{number}")
         self._arrived = arrived
@@ -40,8 +48,12 @@
         loop = asyncio.get_running_loop()
         self._started = loop.time()
         for gateway in range(gateways):
-            made = await loop.create_server(lambda number=gateway: _Link(self, number),  # type: ignore[misc]
-                                            "127.0.0.1", 0, backlog=256)
+            made = await loop.create_server(
+                lambda number=gateway: _Link(self, number),  # type: ignore[misc]
+                "127.0.0.1",
+                0,
+                backlog=256,
+            )
             self._listeners.append(made)
             self.ports[gateway] = made.sockets[0].getsockname()[1]
 
--- a/lab/text/scenario.py
+++ b/lab/text/scenario.py
@@ -139,8 +139,14 @@
     node = form.items[index]
     text = getattr(node, "text", "a list")
     if not isinstance(node, Quantity) or node.measures != measures:
-        example = {"time": "10s", "rate": "25/s", "units": "40u", "part": "73%", "times": "7x",
-                   "number": "3"}[measures]
+        example = {
+            "time": "10s",
+            "rate": "25/s",
+            "units": "40u",
+            "part": "73%",
+            "times": "7x",
+            "number": "3",
+        }[measures]
         raise _fault(node, f"{form.head}: expected a {measures} such as {example}, got {text!r}")
     if not least <= node.least <= node.most <= most:
         raise _fault(node, f"{form.head}: {text} is not within {least:g} to {most:g}")
@@ -163,8 +169,10 @@
         if not isinstance(node, Form):
             raise _fault(node, f"{form.head}: expected a list, got {node.text!r}")
         if node.head not in known:
-            raise _fault(node.items[0] if node.items else node,
-                         f"{form.head}: unknown {node.head!r}; {nearest(node.head, list(known))}")
+            raise _fault(
+                node.items[0] if node.items else node,
+                f"{form.head}: unknown {node.head!r}; {nearest(node.head, list(known))}",
+            )
         known[node.head](node)
 
 
@@ -178,6 +186,7 @@
     def one(key: str, measures: str) -> Callable[[Form], None]:
         def take(sub: Form) -> None:
             values[key] = _quantity(sub, 1, measures).least
+
         return take
 
     def ceiling(sub: Form) -> None:
@@ -185,9 +194,18 @@
         values["ceiling_burst"] = _quantity(sub, 2, "units").least
 
     name = _word(form, 1)
-    _sub(form, 2, {"rate": one("rate", "rate"), "burst": one("burst", "units"), "ceiling": ceiling,
-                   "slack": one("slack", "units"), "beyond-costs": one("over_cost", "times"),
-                   "price": one("price", "times")})
+    _sub(
+        form,
+        2,
+        {
+            "rate": one("rate", "rate"),
+            "burst": one("burst", "units"),
+            "ceiling": ceiling,
+            "slack": one("slack", "units"),
+            "beyond-costs": one("over_cost", "times"),
+            "price": one("price", "times"),
+        },
+    )
     for key in ("rate", "burst"):
         if values.get(key, 0.0) <= 0:
             raise _fault(form, f"plan {name}: ({key} ...) is missing")
@@ -202,6 +220,7 @@
         def take(sub: Form) -> None:
             got = _quantity(sub, 1, measures, least, most)
             changes[key] = (int(got.least), int(got.most)) if whole else (got.least, got.most)
+
         return take
 
     def skew(sub: Form) -> None:
@@ -213,24 +232,63 @@
     def part(key: str) -> Callable[[Form], None]:
         def take(sub: Form) -> None:
             changes[key] = _quantity(sub, 1, "part", 0.0, 1.0).least
+
         return take
 
     def plan(sub: Form) -> None:
         changes["plan"] = _word(sub, 1, plans)
 
-    _sub(form, 2, {"plan": plan, "spread": pair("spread", "number", 1, 4, True),
-                   "demand": pair("demand", "times", 0.0, 1000.0, False), "skew": skew,
-                   "units": pair("units", "number", 1, 6, True), "misjudged": part("misjudged"),
-                   "retries": part("retries")})
+    _sub(
+        form,
+        2,
+        {
+            "plan": plan,
+            "spread": pair("spread", "number", 1, 4, True),
+            "demand": pair("demand", "times", 0.0, 1000.0, False),
+            "skew": skew,
+            "units": pair("units", "number", 1, 6, True),
+            "misjudged": part("misjudged"),
+            "retries": part("retries"),
+        },
+    )
     if "plan" not in changes:
         raise _fault(form, "customers: (plan ...) is missing")
     return replace(made, **changes)  # type: ignore[arg-type]
 
 
-FAULTS = ("kill", "start", "freeze", "thaw", "slow", "split", "heal", "swap", "restore", "spoil", "spike", "cut",
-          "delay", "reset", "narrow", "mend", "lose", "step", "fill", "empty")
+FAULTS = (
+    "kill",
+    "start",
+    "freeze",
+    "thaw",
+    "slow",
+    "split",
+    "heal",
+    "swap",
+    "restore",
+    "spoil",
+    "spike",
+    "cut",
+    "delay",
+    "reset",
+    "narrow",
+    "mend",
+    "lose",
+    "step",
+    "fill",
+    "empty",
+)
 PLAIN = ("kill", "start")  # what can be done to a gateway without a fleet
-TO_GATEWAY = (*PLAIN, "lose", "freeze", "thaw", "spoil", "step", "fill", "empty")  # the last two: its disk, full or not
+TO_GATEWAY = (
+    *PLAIN,
+    "lose",
+    "freeze",
+    "thaw",
+    "spoil",
+    "step",
+    "fill",
+    "empty",
+)  # the last two: its disk, full or not
 TO_GATEWAYS = ("cut", "delay", "reset", "narrow", "mend")
 COPIES = (1, 3, 5)
 STANDS = ["granting", "pausing", "emptying", "acting", "returning", "warming"]  # of a gateway in a roll
@@ -258,6 +316,7 @@
     def one(key: str, measures: str) -> Callable[[Form], None]:
         def take(sub: Form) -> None:
             values[key] = _quantity(sub, 1, measures).least
+
         return take
 
     def who(sub: Form) -> None:
@@ -268,8 +327,18 @@
         values["importance"] = _whole(sub, 1, 1, 9)
 
     name = _word(form, 1)
-    _sub(form, 2, {"customers": who, "rate": one("rate", "rate"), "burst": one("burst", "units"),
-                   "from": one("from_ms", "time"), "to": one("to_ms", "time"), "importance": importance})
+    _sub(
+        form,
+        2,
+        {
+            "customers": who,
+            "rate": one("rate", "rate"),
+            "burst": one("burst", "units"),
+            "from": one("from_ms", "time"),
+            "to": one("to_ms", "time"),
+            "importance": importance,
+        },
+    )
     for key, told in (("rate", "rate"), ("burst", "burst"), ("to_ms", "to")):
         if values.get(key, 0.0) <= 0:
             raise _fault(form, f"contract {name}: ({told} ...) is missing, or 0")
@@ -277,8 +346,15 @@
         raise _fault(form, f"contract {name}: (customers ...) is missing")
     if values.get("from_ms", 0.0) >= values["to_ms"]:
         raise _fault(form, f"contract {name}: its window ends before it begins")
-    return ContractText(name, among[0], values["rate"], values["burst"], values.get("from_ms", 0.0), values["to_ms"],
-                        int(values.get("importance", 1)))
+    return ContractText(
+        name,
+        among[0],
+        values["rate"],
+        values["burst"],
+        values.get("from_ms", 0.0),
+        values["to_ms"],
+        int(values.get("importance", 1)),
+    )
 
 
 def _roll(form: Form, gateways: int) -> RollText:
@@ -318,8 +394,8 @@
     told = [number for group in groups for number in group]
     if len(groups) != 2 or not all(groups) or len(set(told)) != len(told):
         raise _fault(form, f"{form.head}: expected two groups of gateways with none in both")
-    rest = form.items[2 + len(groups):]
-    if form.items[2:2 + len(groups)] != tuple(lists):
+    rest = form.items[2 + len(groups) :]
+    if form.items[2 : 2 + len(groups)] != tuple(lists):
         raise _fault(form, f"{form.head}: expected both groups before anything else")
     if form.head == "cut":
         mode = _word(form, 4, ["one-way"]) if rest else ""
@@ -342,8 +418,9 @@
 def _one_fault(at_ms: float, form: Form, gateways: int, parts: int, fleet: bool) -> Fault:
     words = list(FAULTS)
     if form.head not in words:
-        raise _fault(form.items[0] if form.items else form,
-                     f"at: unknown {form.head!r}; {nearest(form.head, words)}")
+        raise _fault(
+            form.items[0] if form.items else form, f"at: unknown {form.head!r}; {nearest(form.head, words)}"
+        )
     target = _word(form, 1, ["counter", "gateway", "gateways", "customers"])
     made = Fault(at_ms, form.head, target, line=form.line)
     rest = form.items[2:]
@@ -367,8 +444,11 @@
             return replace(_ended(form, made, 4), mode="whole")
         return _ended(form, made, 3)
     if form.head in (*TO_GATEWAYS, "lose", "step", "fill", "empty"):
-        raise _fault(form, f"{form.head} cannot be done to {target}; it is done to "
-                           f"{'gateways' if form.head in TO_GATEWAYS else 'a gateway'}")
+        raise _fault(
+            form,
+            f"{form.head} cannot be done to {target}; it is done to "
+            f"{'gateways' if form.head in TO_GATEWAYS else 'a gateway'}",
+        )
     if target == "customers":
         if form.head != "spike":
             raise _fault(form, f"{form.head} cannot be done to customers; spike can")
@@ -415,6 +495,7 @@
         def take(sub: Form) -> object:
             shared.append(sub)
             return read_it(sub)
+
         return take
 
     def copies(sub: Form) -> int:
@@ -428,35 +509,54 @@
             if key in made:
                 raise _fault(sub, f"{sub.head} is given twice")
             made[key] = read_it(sub)
+
         return take
 
     def both(measures: str, least: float, most: float) -> Callable[[Form], tuple[float, float]]:
         def take(sub: Form) -> tuple[float, float]:
             got = _quantity(sub, 1, measures, least, most)
             return got.least, got.most
+
         return take
 
     def counter(sub: Form) -> None:
-        _sub(sub, 1, {
-            "parts": put("counter_parts", lambda s: _whole(s, 1, 1, 8)),
-            "calls": put("counter_calls", lambda s: _quantity(s, 1, "rate", 1.0).least),
-            "delay": put("counter_delay_ms", both("time", 0.0, 1000.0)),
-            "timeout": put("counter_timeout_ms", lambda s: _quantity(s, 1, "time", 1.0, 1000.0).least)})
+        _sub(
+            sub,
+            1,
+            {
+                "parts": put("counter_parts", lambda s: _whole(s, 1, 1, 8)),
+                "calls": put("counter_calls", lambda s: _quantity(s, 1, "rate", 1.0).least),
+                "delay": put("counter_delay_ms", both("time", 0.0, 1000.0)),
+                "timeout": put("counter_timeout_ms", lambda s: _quantity(s, 1, "time", 1.0, 1000.0).least),
+            },
+        )
 
     def servers(sub: Form) -> None:
         made["servers"] = _whole(sub, 1, 1, 2000)
-        _sub(sub, 2, {"work": put("work_ms", both("time", 0.1, 10_000.0)),
-                      "slots": put("slots", lambda s: _whole(s)),
-                      "cold": put("cold", lambda s: _whole(s, 1, 0, 2000)),
-                      "connections": put("connections", needs_fleet(lambda s: _whole(s, 1, 1, 100_000)))})
+        _sub(
+            sub,
+            2,
+            {
+                "work": put("work_ms", both("time", 0.1, 10_000.0)),
+                "slots": put("slots", lambda s: _whole(s)),
+                "cold": put("cold", lambda s: _whole(s, 1, 0, 2000)),
+                "connections": put("connections", needs_fleet(lambda s: _whole(s, 1, 1, 100_000))),
+            },
+        )
 
     def gateways(sub: Form) -> None:
         made["gateways"] = _whole(sub, 1, 1, 200)
-        _sub(sub, 2, {"started": put("started", lambda s: _whole(s, 1, 1, 200)),
-                      "skew": put("clock_skew_ms", lambda s: _quantity(s, 1, "time", 0.0, 5000.0).least),
-                      "fleet": put("fleet", lambda s: _word(s, 1, ["on", "off"]) == "on"),
-                      "copies": put("copies", needs_fleet(copies)),
-                      "halls": put("halls", needs_fleet(lambda s: _whole(s, 1, 1, 9)))})
+        _sub(
+            sub,
+            2,
+            {
+                "started": put("started", lambda s: _whole(s, 1, 1, 200)),
+                "skew": put("clock_skew_ms", lambda s: _quantity(s, 1, "time", 0.0, 5000.0).least),
+                "fleet": put("fleet", lambda s: _word(s, 1, ["on", "off"]) == "on"),
+                "copies": put("copies", needs_fleet(copies)),
+                "halls": put("halls", needs_fleet(lambda s: _whole(s, 1, 1, 9))),
+            },
+        )
 
     def at(sub: Form) -> None:
         when = _quantity(sub, 1, "time").least
@@ -467,14 +567,26 @@
         if len(sub.items) < 3:
             raise _fault(sub, "at: says not what happens then")
 
-    _sub(form, 2, {
-        "about": put("about", lambda s: _word(s, 1)),
-        "length": put("length_ms", lambda s: _quantity(s, 1, "time", 100.0, 3_600_000.0).least),
-        "watch": put("watch", lambda s: _word(s, 1, ["on", "off"]) == "on"),
-        "gateways": gateways, "servers": servers, "counter": counter,
-        "plan": lambda sub: plans.append(_plan(sub)), "customers": crowds.append, "at": at,
-        "proposals": put("proposals", needs_fleet(lambda s: _quantity(s, 1, "rate", 0.0, 10_000.0).least)),
-        "contract": contracts.append, "roll": rolls.append})
+    _sub(
+        form,
+        2,
+        {
+            "about": put("about", lambda s: _word(s, 1)),
+            "length": put("length_ms", lambda s: _quantity(s, 1, "time", 100.0, 3_600_000.0).least),
+            "watch": put("watch", lambda s: _word(s, 1, ["on", "off"]) == "on"),
+            "gateways": gateways,
+            "servers": servers,
+            "counter": counter,
+            "plan": lambda sub: plans.append(_plan(sub)),
+            "customers": crowds.append,
+            "at": at,
+            "proposals": put(
+                "proposals", needs_fleet(lambda s: _quantity(s, 1, "rate", 0.0, 10_000.0).least)
+            ),
+            "contract": contracts.append,
+            "roll": rolls.append,
+        },
+    )
     number = made.get("gateways", 3)
     assert isinstance(number, int)
     made.setdefault("started", number)
@@ -487,17 +599,29 @@
         raise _fault(form, f"{told} copies do not fit on {number} gateways")
     names = [plan.name for plan in plans]
     if bool(plans) != bool(crowds) or not (plans or (fleet and made.get("proposals"))):
-        raise _fault(form, "a scenario needs at least one (plan ...) and one (customers ...), or a fleet with "
-                           "(proposals ...)")
+        raise _fault(
+            form,
+            "a scenario needs at least one (plan ...) and one (customers ...), or a fleet with "
+            "(proposals ...)",
+        )
     made_crowds = tuple(_crowd(one, names) for one in crowds)
     customers = sum(crowd.count for crowd in made_crowds)
     if contracts and not crowds:
         raise _fault(contracts[0], "contract: there are no (customers ...) that it could be for")
-    return Scenario(name, plans=tuple(plans), crowds=made_crowds,
-                    contracts=_named(contracts, [_contract(one, customers) for one in contracts]),
-                    rolls=_named(rolls, [_roll(one, number) for one in rolls]),
-                    faults=tuple(sorted((_one_fault(when, one, number, parts, fleet) for when, one in faults),
-                                        key=lambda fault: fault.at_ms)), **made)  # type: ignore[arg-type]
+    return Scenario(
+        name,
+        plans=tuple(plans),
+        crowds=made_crowds,
+        contracts=_named(contracts, [_contract(one, customers) for one in contracts]),
+        rolls=_named(rolls, [_roll(one, number) for one in rolls]),
+        faults=tuple(
+            sorted(
+                (_one_fault(when, one, number, parts, fleet) for when, one in faults),
+                key=lambda fault: fault.at_ms,
+            )
+        ),
+        **made,
+    )  # type: ignore[arg-type]
 
 
 def _named(forms: list[Form], made: list[Named]) -> tuple[Named, ...]:
--- a/lab/text/sexpr.py
+++ b/lab/text/sexpr.py
@@ -13,9 +13,17 @@
 MOST_TEXT = 1024 * 1024
 NUMBER = re.compile(r"(-?\d+(?:\.\d+)?)(u/s|ms|min|s|%|x|u|/s)?")
 # Each unit: what it measures, and its size in the laboratory's own (ms, units a second, parts of one).
-UNITS = {"ms": ("time", 1.0), "s": ("time", 1000.0), "min": ("time", 60_000.0), "%": ("part", 0.01),
-         "x": ("times", 1.0), "u": ("units", 1.0), "/s": ("rate", 1.0), "u/s": ("rate", 1.0),
-         "": ("number", 1.0)}
+UNITS = {
+    "ms": ("time", 1.0),
+    "s": ("time", 1000.0),
+    "min": ("time", 60_000.0),
+    "%": ("part", 0.01),
+    "x": ("times", 1.0),
+    "u": ("units", 1.0),
+    "/s": ("rate", 1.0),
+    "u/s": ("rate", 1.0),
+    "": ("number", 1.0),
+}
 
 
 class TextError(Exception):
@@ -80,9 +88,12 @@
         token = getattr(fault, "token", None)
         if token is not None and token.type == "$END":
             line = text.rstrip().count("\n") + 1
-            raise TextError(line, len(text.rstrip().rsplit("\n", 1)[-1]) + 1,
-                            "the text ends inside a list: a ) is missing") from None
-        found = str(token) if token is not None else text[fault.pos_in_stream or 0:][:1]
+            raise TextError(
+                line,
+                len(text.rstrip().rsplit("\n", 1)[-1]) + 1,
+                "the text ends inside a list: a ) is missing",
+            ) from None
+        found = str(token) if token is not None else text[fault.pos_in_stream or 0 :][:1]
         raise TextError(fault.line, fault.column, f"unexpected {found!r}") from None
     root = tree.children[0]
     assert isinstance(root, Tree)
--- a/martenstep/handover.py
+++ b/martenstep/handover.py
@@ -19,10 +19,37 @@
 MOST_LEDGERS = 20_000  # the last used; the others begin as after a crash
 MOST_BYTES = 8 * 1024 * 1024
 # Attributes that are handed over as they are.
-LEDGER = ("period", "base", "last_base", "epoch", "last_epoch", "sum", "unclosed", "mine", "others", "seen",
-          "told", "stranger", "conform", "used")
-PEER = ("rank", "base", "latency", "timed", "guessed", "sent", "newest", "failing", "failed", "answered",
-        "answers", "turn", "turn_at")
+LEDGER = (
+    "period",
+    "base",
+    "last_base",
+    "epoch",
+    "last_epoch",
+    "sum",
+    "unclosed",
+    "mine",
+    "others",
+    "seen",
+    "told",
+    "stranger",
+    "conform",
+    "used",
+)
+PEER = (
+    "rank",
+    "base",
+    "latency",
+    "timed",
+    "guessed",
+    "sent",
+    "newest",
+    "failing",
+    "failed",
+    "answered",
+    "answers",
+    "turn",
+    "turn_at",
+)
 QUOTA = ("_chance", "_worth", "_started", "_quickest")
 FLEET = ("_mean", "_sent", "_sent_at", "_began", "_latency", "_unmet", "_more")
 Figure = int | float | bool | None
@@ -64,9 +91,17 @@
 def _ledger(led: Ledger) -> LedgerState:
     told = sum(led.asked.values()) - sum(led.pending.values()) - led.guessed if led.asked else 0.0
     return LedgerState(
-        led.customer, led.plan.name, led.spread, led.first, led.period_ms,
-        (led.quota.tat, led.own.tat, led.head.tat if led.head else None), max(led.owed, 0.0), led.settled,
-        led.maybe + max(told, 0.0), [getattr(led, name) for name in LEDGER])
+        led.customer,
+        led.plan.name,
+        led.spread,
+        led.first,
+        led.period_ms,
+        (led.quota.tat, led.own.tat, led.head.tat if led.head else None),
+        max(led.owed, 0.0),
+        led.settled,
+        led.maybe + max(told, 0.0),
+        [getattr(led, name) for name in LEDGER],
+    )
 
 
 def give(gateway: Gateway, names: Mapping[int, str]) -> Handed:
@@ -75,10 +110,16 @@
     ledgers = sorted(quota._ledgers.values(), key=lambda led: led.used)[-MOST_LEDGERS:]
     return Handed(
         [_ledger(led) for led in ledgers],
-        [PeerState(names[number], [getattr(peer, name) for name in PEER])
-         for number, peer in fleet._peers.items() if number in names],
-        [getattr(quota, name) for name in QUOTA], dict(quota._conform),
-        [getattr(fleet, name) for name in FLEET], gateway._retries)
+        [
+            PeerState(names[number], [getattr(peer, name) for name in PEER])
+            for number, peer in fleet._peers.items()
+            if number in names
+        ],
+        [getattr(quota, name) for name in QUOTA],
+        dict(quota._conform),
+        [getattr(fleet, name) for name in FLEET],
+        gateway._retries,
+    )
 
 
 def given(gateway: Gateway, handed: Handed) -> None:
--- a/martenstep/interface.py
+++ b/martenstep/interface.py
@@ -101,8 +101,17 @@
     ceiling_slack: float = 0.0
 
     def __post_init__(self) -> None:
-        for key in ("rate", "burst", "open_limit", "price", "over_worth", "over_cost", "ceiling_rate",
-                    "ceiling_burst", "ceiling_slack"):
+        for key in (
+            "rate",
+            "burst",
+            "open_limit",
+            "price",
+            "over_worth",
+            "over_cost",
+            "ceiling_rate",
+            "ceiling_burst",
+            "ceiling_slack",
+        ):
             _at_least(f"plans.{self.name}.{key}", getattr(self, key), 0.0)
         if self.rate > 0 and not self.burst > 0:
             raise ValueError(f"setting plans.{self.name}.burst: expected above 0 where there is a rate")
@@ -136,8 +145,18 @@
         _at_least("gateways", self.gateways, 1)
         _at_least("me", self.me, 0)
         _at_least("max_attempts", self.max_attempts, 1)
-        for key in ("tick_ms", "counter_timeout_ms", "max_units", "max_retry_after_ms", "ask_within_ms",
-                    "answer_slack_ms", "cold_from", "warm_within_ms", "fall_multiple", "fall_window_ms"):
+        for key in (
+            "tick_ms",
+            "counter_timeout_ms",
+            "max_units",
+            "max_retry_after_ms",
+            "ask_within_ms",
+            "answer_slack_ms",
+            "cold_from",
+            "warm_within_ms",
+            "fall_multiple",
+            "fall_window_ms",
+        ):
             _at_least(key, getattr(self, key), 0.0)
 
 
@@ -178,7 +197,9 @@
     spread: int
     first: int = 0
     retry: bool = False
-    reserved: int = 0  # drawn under a lease: the class of importance of its contract, from 1, which goes last; 0: not
+    reserved: int = (
+        0  # drawn under a lease: the class of importance of its contract, from 1, which goes last; 0: not
+    )
 
 
 @dataclass(frozen=True, slots=True)
--- a/martenstep/plans/book.py
+++ b/martenstep/plans/book.py
@@ -78,8 +78,9 @@
         self._versions = {name: [Version(name, 0, -math.inf, figures)] for name, figures in plans.items()}
         self._exempt: dict[int, Exemption] = {}
 
-    def announce(self, now: float, plan: str, number: int, holds_from_ms: float,
-                 figures: Figures) -> Version | Fault:
+    def announce(
+        self, now: float, plan: str, number: int, holds_from_ms: float, figures: Figures
+    ) -> Version | Fault:
         """Take in a change that is to hold from a moment on."""
         versions = self._versions.get(plan)
         if versions is None:
@@ -147,23 +148,35 @@
 
     def next_change(self, now: float) -> float:
         """When the next version begins to hold, ms; inf where none waits."""
-        return min((one.holds_from_ms for versions in self._versions.values() for one in versions
-                    if one.holds_from_ms > now), default=math.inf)
+        return min(
+            (
+                one.holds_from_ms
+                for versions in self._versions.values()
+                for one in versions
+                if one.holds_from_ms > now
+            ),
+            default=math.inf,
+        )
 
     def waiting(self, now: float) -> list[Version]:
         """The versions that were announced and do not hold yet, in order of their moments."""
-        return sorted((one for versions in self._versions.values() for one in versions
-                       if one.holds_from_ms > now), key=lambda one: (one.holds_from_ms, one.plan))
+        return sorted(
+            (one for versions in self._versions.values() for one in versions if one.holds_from_ms > now),
+            key=lambda one: (one.holds_from_ms, one.plan),
+        )
 
     @staticmethod
     def _forget(now: float, versions: list[Version]) -> None:
         """Keep the version that holds, the one before it, and those to come."""
         held = sum(one.holds_from_ms <= now for one in versions)
-        del versions[:max(held - 2, 0)]
+        del versions[: max(held - 2, 0)]
 
 
 def same_book(books: Iterable[PlanBook], now: float) -> bool:
     """Whether books tell the same at a time: for tests, and for a look at a fleet."""
-    told = [[(one.plan, one.number, one.holds_from_ms, one.figures) for one in book.waiting(now)]
-            + [book.version(now, plan) for plan in sorted(book._versions)] for book in books]
+    told = [
+        [(one.plan, one.number, one.holds_from_ms, one.figures) for one in book.waiting(now)]
+        + [book.version(now, plan) for plan in sorted(book._versions)]
+        for book in books
+    ]
     return all(one == told[0] for one in told)
--- a/martenstep/reserved.py
+++ b/martenstep/reserved.py
@@ -1,7 +1,8 @@
 """The module's decisions on requests that were drawn under a lease: they go before all others.
 
-A host whose gateways guarantee capacity puts this in the place of `decide.Gateway`, and marks what it draws with
-`Request.reserved`.  Nothing else changes for it, and nothing at all where no request is marked.  For one that is:
+A host whose gateways guarantee capacity puts this in the place of `decide.Gateway`, and marks what it draws
+with `Request.reserved`.  Nothing else changes for it, and nothing at all where no request is marked.  For one
+that is:
 
 - **Quota.**  None is asked: the lease is its quota.  Its units and its attempts out count against no quota of the
   customer's, so that beyond the contract the customer is as any other.
@@ -13,16 +14,29 @@
   So it takes from the quota only where the headroom is used up, that is where quota and contract do not both fit under
   the ceiling; the customer's own use beyond the contract goes first, since it leaves the stores part full (`KEPT`).
 
-What it does not do: the headroom is split evenly, since no gateway can prove what another that heard of no contract
-sends.  A customer whose requests all come to one gateway of many has its quota and one part of the headroom there.
+What it does not do: the headroom is split evenly, since no gateway can prove what another that heard of no
+contract sends.  A customer whose requests all come to one gateway of many has its quota and one part of the
+headroom there.
 """
 
 from __future__ import annotations
 
 from martenstep import decide
-from martenstep.interface import Action, Outcome, Plan, Refuse, Request, Server, Settings, Total, Verdict, Where
-
-OVER = 3.0  # of what servers are held to bear may be out above that, while they are slow, of the first class; ...
+from martenstep.interface import (
+    Action,
+    Outcome,
+    Plan,
+    Refuse,
+    Request,
+    Server,
+    Settings,
+    Total,
+    Verdict,
+    Where,
+)
+
+# of what servers are held to bear may be out above that, while they are slow, of the first class; ...
+OVER = 3.0
 # ... of class n the nth part of it.  By then the others have had no place for long.
 KEPT = 0.75  # of the stores under a ceiling is left to a customer's reserved requests by its others, ...
 KEPT_MS = 2000.0  # ... for so long after one of them: the rate is theirs still, the burst is not
@@ -37,7 +51,9 @@
         super().__init__(settings, seed)
         self._aside: decide.Ledger | None = None  # the book of all reserved requests: it has no quota
         self._verdict: Verdict | None = None  # of the attempt whose end is being handled
-        self._pressed: dict[int, float] = {}  # customers under a ceiling, and when the last reserved request came
+        self._pressed: dict[
+            int, float
+        ] = {}  # customers under a ceiling, and when the last reserved request came
 
     def _presses(self, now: float, customer: int) -> bool:
         return bool(self._pressed) and now - self._pressed.get(customer, -KEPT_MS) < KEPT_MS
@@ -84,11 +100,16 @@
         self._pressed[event.customer] = now
         if led.head.room(now) >= event.units:
             return self._under(now, job, led.head)
-        if led.told and (wait := led.quota.wait(now, event.units)) > 0:  # asked in vain, it would look used to others
+        if (
+            led.told and (wait := led.quota.wait(now, event.units)) > 0
+        ):  # asked in vain, it would look used to others
             return self._refuse(now, job, wait)
         sight, timeout = self._quota.sight, self._settings.counter_timeout_ms
-        if (self._settings.has_counter and event.remaining_ms > decide.HOLD_TIMES * timeout
-                and not (sight and sight.hushed(now, led))):
+        if (
+            self._settings.has_counter
+            and event.remaining_ms > decide.HOLD_TIMES * timeout
+            and not (sight and sight.hushed(now, led))
+        ):
             led.waiting[event.id] = event.units
             return self._quota.ask(now, led)
         return self._unconfirmed(now, job)
@@ -104,8 +125,11 @@
         request = job.request
         if not request.reserved:
             led = job.ledger
-            if led.head and self._presses(now, request.customer) and (
-                    led.head.room(now) - request.units < KEPT * led.head.tolerance / led.head.per_unit):
+            if (
+                led.head
+                and self._presses(now, request.customer)
+                and (led.head.room(now) - request.units < KEPT * led.head.tolerance / led.head.per_unit)
+            ):
                 return self._refuse(now, job, job.ledger.quota.per_unit)
             return super()._unconfirmed(now, job, spare)
         led, units = self._quota.ledger(now, request), request.units
@@ -129,7 +153,10 @@
         actions = super()._give_up(now, job)
         if job.request.reserved:
             cause = LOAD if self._verdict in (None, Verdict.FULL) else SERVER
-            return [Refuse(one.id, one.retry_after_ms, cause) if isinstance(one, Refuse) else one for one in actions]
+            return [
+                Refuse(one.id, one.retry_after_ms, cause) if isinstance(one, Refuse) else one
+                for one in actions
+            ]
         return actions
 
     def _choose(self, now: float, job: decide.Job, allowed: Where) -> Server | None:
--- a/martenstep/settings.py
+++ b/martenstep/settings.py
@@ -1,8 +1,8 @@
 """The settings a gateway is told, as nested JSON, turned into the module's own: the same on every wire.
 
-What the module goes by has to be there, of the right form and in its range; a fault names its key in full.  A figure may
-be left out only where that says that there is no such thing: a ceiling, worth after the aim.  A key that the page of
-the wire does not name is no fault, but is told.
+What the module goes by has to be there, of the right form and in its range; a fault names its key in full.  A
+figure may be left out only where that says that there is no such thing: a ceiling, worth after the aim.  A
+key that the page of the wire does not name is no fault, but is told.
 """
 
 from __future__ import annotations
@@ -16,13 +16,14 @@
 GROUPS = {group.value: group for group in api.Group}
 SUBSCRIBED = {"automatic": False, "subscribe": True}
 FLAGS = {True: True, False: False}  # 1 and 0 as well
-# Beyond these is a slip of the pen: sums would lose digits, and no query could be asked (resp/client_link.py).
+# Beyond these is a slip of the pen: sums would lose digits, and no query could be asked
+# (resp/client_link.py).
 MOST, MOST_MS, MOST_UNITS, MOST_GATEWAYS, MOST_ATTEMPTS = 1e12, 1e7, 1e6, 1e6, 1e3
 MOST_SHOWN, MOST_NAME = 64, 256  # characters of a faulty value in its message; of a name
 # Every key that the page of the wire names, also those that this program has no use for.
 KEYS = {
     "": "charges classes clients contracts discovery family_info feedback goal instances kind_of_service kinds me "
-        "policy_limits rules tick_ms tier tiers weight_kind zone zones",
+    "policy_limits rules tick_ms tier tiers weight_kind zone zones",
     "charges": "connection cross_zone discovery fleet handshake late_fail moves origin peer probe waste",
     "classes": "aim_stretch deadline_ms group idempotency late_share name slo_ms stream window_ms worth",
     "clients": "marks_retry",
@@ -31,7 +32,7 @@
     "feedback": "fields how",
     "goal": "whole worst_class worst_tenant worst_window",
     "policy_limits": "cancelling conn_idle_ms cpu_us_per_request cpu_us_per_s dial_timeout_ms max_open "
-                     "max_retry_after_ms max_streams parallel_tries peers probes retry_after try_limit",
+    "max_retry_after_ms max_streams parallel_tries peers probes retry_after try_limit",
     "rules": "answer_slack_ms ask_every_ms cold_from drain_grace_ms fall_multiple overload_for_ms warm_within_ms",
 }
 
@@ -167,7 +168,9 @@
         zone=top.text("zone") if "zone" in raw or raw.get("zones") else "",  # a site may have none
         tick_ms=top.above_0("tick_ms", MOST_MS),
         classes=tuple(map(_class, top.named("classes"))),
-        plans=tuple(map(_plan, top.named("contracts", least=0))),  # none: a gateway that only keeps a share in a fleet
+        plans=tuple(
+            map(_plan, top.named("contracts", least=0))
+        ),  # none: a gateway that only keeps a share in a fleet
         has_counter=has_counter,
         counter_timeout_ms=family.above_0("counter_timeout_ms", MOST_MS) if has_counter else 0.0,
         max_units=family.above_0("max_units", MOST_UNITS),
--- a/martenstep/watch/guarded.py
+++ b/martenstep/watch/guarded.py
@@ -88,8 +88,9 @@
                 led = self.quota._calls.get(event.name)
                 if led is not None and not self.watch.sight.deaf and event.verdict is not Verdict.FULL:
                     self.watch.sight.told(now, led, event.verdict is Verdict.OK)
-                self.watch.witness(now, event.verdict is Verdict.OK, event.rtt_ms,
-                                   event.verdict is Verdict.CONNECT_FAILED)
+                self.watch.witness(
+                    now, event.verdict is Verdict.OK, event.rtt_ms, event.verdict is Verdict.CONNECT_FAILED
+                )
             case Request():
                 self.watch.tried()
                 plan = self._plans.get(event.plan)
@@ -124,5 +125,12 @@
 
     def _answered(self, now: float, event: Total) -> None:
         call = self._calls.pop(event.name)
-        self.watch.answer(now, call, event.verdict is Verdict.OK, event.rtt_ms, event.total,
-                          event.verdict is Verdict.FULL, event.verdict is Verdict.CONNECT_FAILED)
+        self.watch.answer(
+            now,
+            call,
+            event.verdict is Verdict.OK,
+            event.rtt_ms,
+            event.total,
+            event.verdict is Verdict.FULL,
+            event.verdict is Verdict.CONNECT_FAILED,
+        )
--- a/martenstep/watch/sight.py
+++ b/martenstep/watch/sight.py
@@ -46,8 +46,9 @@
         self._lost: set[int] = set()  # ... and those who are taken to have no counter: one part of it is gone
         self._rejoined: set[int] = set()  # customers whose first total after a rejoin is still to come
 
-    def change(self, now: float, deaf: bool, hidden: frozenset[int], absent: frozenset[int],
-               unseen_ms: float) -> None:
+    def change(
+        self, now: float, deaf: bool, hidden: frozenset[int], absent: frozenset[int], unseen_ms: float
+    ) -> None:
         """Go by another view from now on."""
         if (deaf, hidden, absent) == (self.deaf, self.hidden, self.absent):
             return
--- a/martenstep/watch/state.py
+++ b/martenstep/watch/state.py
@@ -74,8 +74,14 @@
 
 
 _B, _S = Belief, Sign
-_TROUBLE = {_S.MUTE: _B.DEAD, _S.FORGOT: _B.SWAPPED, _S.ALONE: _B.SPLIT, _S.HIDDEN: _B.MISSING,
-            _S.DESERTED: _B.ABSENT, _S.STILL_HIDDEN: _B.SPLIT}
+_TROUBLE = {
+    _S.MUTE: _B.DEAD,
+    _S.FORGOT: _B.SWAPPED,
+    _S.ALONE: _B.SPLIT,
+    _S.HIDDEN: _B.MISSING,
+    _S.DESERTED: _B.ABSENT,
+    _S.STILL_HIDDEN: _B.SPLIT,
+}
 TRANSITIONS: dict[Belief, dict[Sign, Belief]] = {
     _B.UNKNOWN: {**_TROUBLE, _S.LATE: _B.SLOW, _S.CLEAR: _B.SOUND},
     _B.SOUND: {**_TROUBLE, _S.LATE: _B.SLOW, _S.CLEAR: _B.SOUND},
@@ -125,12 +131,17 @@
         self.watched = roll.neighbours(me, gateways, min(REACH, gateways - 1))
         self.group = me // roll.GROUP
         others = sorted({number // roll.GROUP for number in self.watched} - {self.group})
-        self._turns: tuple[int, ...] = tuple(
-            group for other in others for group in (self.group, other)) or (self.group,)
+        self._turns: tuple[int, ...] = tuple(group for other in others for group in (self.group, other)) or (
+            self.group,
+        )
         # Beats between two of another's beats, or of my readings of it, whichever is longer.
-        self._pace = {number: max(1.0 if gateways <= roll.GROUP else 2.0,
-                                  float(len(self._turns) if number // roll.GROUP != self.group else
-                                        min(len(self._turns), 2))) for number in self.watched}
+        self._pace = {
+            number: max(
+                1.0 if gateways <= roll.GROUP else 2.0,
+                float(len(self._turns) if number // roll.GROUP != self.group else min(len(self._turns), 2)),
+            )
+            for number in self.watched
+        }
         self._turn = 0
         self._fresh, self._readings = True, 0  # until each roll was read twice, nobody is known to be there
         self.started = self._changed = math.nan
@@ -203,11 +214,30 @@
                 self._generation, self._generation_era, self._seen_generation = 0, era, 0
             units = roll.place(self.me) if self._own < roll.TOP else 0.0
             told = self._to_publish()
-            calls.append(Call(roll.name_of(roll.Kind.ROLL, group, era), units + told * roll.GENERATION,
-                              roll.LIFE_MS, group, roll.Kind.ROLL, era, units > 0, told))
+            calls.append(
+                Call(
+                    roll.name_of(roll.Kind.ROLL, group, era),
+                    units + told * roll.GENERATION,
+                    roll.LIFE_MS,
+                    group,
+                    roll.Kind.ROLL,
+                    era,
+                    units > 0,
+                    told,
+                )
+            )
         else:
-            calls.append(Call(roll.name_of(roll.Kind.ROLL, group, era), 0.0, roll.LIFE_MS, group,
-                              roll.Kind.ROLL, era, False))
+            calls.append(
+                Call(
+                    roll.name_of(roll.Kind.ROLL, group, era),
+                    0.0,
+                    roll.LIFE_MS,
+                    group,
+                    roll.Kind.ROLL,
+                    era,
+                    False,
+                )
+            )
         if self._stretch == 1.0 and (extra := self._extra(now, era)) is not None:
             calls.append(extra)
             self._extra_at = now
@@ -230,13 +260,27 @@
             return self._muster_call(muster - 1, 0.0)
         if not self._closed and self._own_era == era:
             self._closed = True
-            return Call(roll.name_of(roll.Kind.ROLL, self.group, era - 1), 0.0, roll.LIFE_MS, self.group,
-                        roll.Kind.ROLL, era - 1, False)
+            return Call(
+                roll.name_of(roll.Kind.ROLL, self.group, era - 1),
+                0.0,
+                roll.LIFE_MS,
+                self.group,
+                roll.Kind.ROLL,
+                era - 1,
+                False,
+            )
         return None
 
     def _muster_call(self, muster: int, units: float) -> Call:
-        return Call(roll.name_of(roll.Kind.MUSTER, self.group, muster), units, roll.LIFE_MS, self.group,
-                    roll.Kind.MUSTER, muster, False)
+        return Call(
+            roll.name_of(roll.Kind.MUSTER, self.group, muster),
+            units,
+            roll.LIFE_MS,
+            self.group,
+            roll.Kind.MUSTER,
+            muster,
+            False,
+        )
 
     def _to_publish(self) -> int:
         """Generations to add to this beat: a loss that was found here and that nobody has made known yet.
@@ -252,8 +296,16 @@
 
     # Answers --------------------------------------------------------------------------------------------
 
-    def answer(self, now: float, call: Call, good: bool, rtt_ms: float, total: float, crowded: bool = False,
-               refused: bool = False) -> None:
+    def answer(
+        self,
+        now: float,
+        call: Call,
+        good: bool,
+        rtt_ms: float,
+        total: float,
+        crowded: bool = False,
+        refused: bool = False,
+    ) -> None:
         """Take in the answer to one call.
 
         `good`: a total came; `crowded`: it was turned away; `refused`: there was no connection.
@@ -270,7 +322,7 @@
         self._stretch = 1.0
         read = roll.digits(total)
         if call.kind is roll.Kind.MUSTER:
-            for index, digit in enumerate(read[:roll.GROUP]):
+            for index, digit in enumerate(read[: roll.GROUP]):
                 if digit:
                     self._known[call.group * roll.GROUP + index] = True
         else:
@@ -298,7 +350,7 @@
                     self._forgot(now, call.era)
             elif call.era == self._own_era - 1 and own < self._last_own:
                 self._forgot(now, self._own_era)
-        for index, digit in enumerate(read[:roll.GROUP]):
+        for index, digit in enumerate(read[: roll.GROUP]):
             number = call.group * roll.GROUP + index
             if number == self.me or number >= self.gateways or not digit:
                 continue
@@ -355,7 +407,8 @@
 
     def _mute(self, now: float) -> bool:
         return self._bad >= MUTE_CALLS - (now - self._last_good > 2 * roll.BEAT_MS) and (
-            now - self._last_good >= MUTE_MS)
+            now - self._last_good >= MUTE_MS
+        )
 
     def _silent(self, now: float, number: int) -> float:
         """For how many of its beats a known gateway has not been seen to grow; 0 where it was never there."""
@@ -387,8 +440,11 @@
             silent = {number: self._silent(now, number) for number in self.watched}
             doubted = frozenset(number for number in self.watched if silent[number] >= limit)
             since_back = (now - self._muted_at) / roll.BEAT_MS
-            gone = tuple(number for number in self.watched
-                         if silent[number] >= worse and since_back >= (worse + 1.0) * self._pace[number])
+            gone = tuple(
+                number
+                for number in self.watched
+                if silent[number] >= worse and since_back >= (worse + 1.0) * self._pace[number]
+            )
         self._look_at(now, mute, doubted)
         sign = self._sign(now, mute, gone)
         new = TRANSITIONS[self.belief][sign]
@@ -422,8 +478,13 @@
             if now - min(self._hidden_since.values()) < DECIDE_MS:
                 return Sign.HIDDEN
             came = self._came(len(gone), len(known))
-            return (Sign.DESERTED if came > CAME_PART else Sign.STILL_HIDDEN if came < STAYED_PART else
-                    Sign.HIDDEN)
+            return (
+                Sign.DESERTED
+                if came > CAME_PART
+                else Sign.STILL_HIDDEN
+                if came < STAYED_PART
+                else Sign.HIDDEN
+            )
         return Sign.LATE if self._slow else Sign.CLEAR
 
     def _came(self, gone: int, known: int) -> float:
@@ -447,8 +508,9 @@
             self._moved.update(dict.fromkeys(self._moved, -math.inf))
             self._muted_at = now
         if less:
-            since = min((self._moved.get(number, now) for number in doubted - sight.hidden),
-                        default=self._last_good)
+            since = min(
+                (self._moved.get(number, now) for number in doubted - sight.hidden), default=self._last_good
+            )
             since = max(since, now - MOST_UNSEEN_MS)
             sight.change(now, mute or sight.deaf, doubted | sight.hidden, absent, now - since)
         elif now - sight.changed >= HOLD_MS or (not mute and sight.deaf and doubted):
@@ -467,4 +529,3 @@
         """The changes of the belief since the last call."""
         changes, self.changes = self.changes, []
         return changes
-
--- a/martenstep/wirehost.py
+++ b/martenstep/wirehost.py
@@ -89,8 +89,14 @@
         value = self._pairs.get(name, "")
         if value in ("", "-"):
             return ()
-        return tuple(self._as(name, lambda text: [float(part) for part in text.split(",")],
-                              "numbers set apart by commas", None))
+        return tuple(
+            self._as(
+                name,
+                lambda text: [float(part) for part in text.split(",")],
+                "numbers set apart by commas",
+                None,
+            )
+        )
 
 
 def split_line(line: str) -> tuple[str, Fields]:
--- a/tests/canonical.py
+++ b/tests/canonical.py
@@ -1,8 +1,8 @@
 """A form of any value in which neither type names nor field names count, for digests of behaviour.
 
-A digest over a run's effects is recorded once and must come out equal after every change that only renames, moves or
-types: a dataclass, a msgspec Struct, a NamedTuple and a plain tuple of the same values in the same order are one and
-the same here, and so are an IntEnum and its number.
+A digest over a run's effects is recorded once and must come out equal after every change that only renames,
+moves or types: a dataclass, a msgspec Struct, a NamedTuple and a plain tuple of the same values in the same
+order are one and the same here, and so are an IntEnum and its number.
 """
 
 from __future__ import annotations
@@ -20,7 +20,9 @@
     if isinstance(value, bool) or value is None:
         return repr(value)
     if isinstance(value, Enum):
-        return canonical(value.value) if isinstance(value, int | str) else f"#{list(type(value)).index(value)}"
+        return (
+            canonical(value.value) if isinstance(value, int | str) else f"#{list(type(value)).index(value)}"
+        )
     if isinstance(value, int | float | str | bytes):
         base = next(kind for kind in (int, float, str, bytes) if isinstance(value, kind))
         return repr(base(value))  # type: ignore[arg-type]
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,5 +1,6 @@
-"""The one way in which a test may fail and the run pass: KNOWN-RED.txt at the root, "TEST | CAUSE | ISSUE", three lines
-at most.  A listed test that passes, or that there is not, fails the run; so does any skip and any expected failure."""
+"""The one way in which a test may fail and the run pass: KNOWN-RED.txt at the root, "TEST | CAUSE |
+ISSUE", three lines at most.  A listed test that passes, or that there is not, fails the run; so does any
+skip and any expected failure."""
 
 from __future__ import annotations
 
@@ -48,7 +49,9 @@
 def pytest_collection_modifyitems(config: pytest.Config, items: list[pytest.Item]) -> None:
     for item in items:
         if marks := [mark.name for mark in item.iter_markers() if mark.name in BARRED]:
-            raise pytest.UsageError(f"{item.nodeid}: marked {marks[0]}; what fails for a real fault goes into {NAME}")
+            raise pytest.UsageError(
+                f"{item.nodeid}: marked {marks[0]}; what fails for a real fault goes into {NAME}"
+            )
     tests = {item.nodeid for item in items}
     files = {test.partition("::")[0] for test in tests}
     everything = config.args_source is not pytest.Config.ArgsSource.ARGS
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -20,9 +20,15 @@
     `work` draws a request's time on an idle server; `pace` gives a gateway's requests a second.
     """
 
-    def __init__(self, gateways: int, servers: Iterable[api.Server], seed: int = 1,
-                 work: Callable[[random.Random], float] = lambda draw: draw.expovariate(1 / 150),
-                 cores: int = 2, **settings: Any) -> None:
+    def __init__(
+        self,
+        gateways: int,
+        servers: Iterable[api.Server],
+        seed: int = 1,
+        work: Callable[[random.Random], float] = lambda draw: draw.expovariate(1 / 150),
+        cores: int = 2,
+        **settings: Any,
+    ) -> None:
         self.draw = random.Random(seed)
         made = {"plans": (api.Plan("plain"),), "has_counter": False, "gateways": gateways, **settings}
         self.made = [Gateway(replace(SETTINGS, me=n, **made), seed * 1000 + n) for n in range(gateways)]
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -49,14 +49,22 @@
     return made
 
 
-def request(rid: str, cls: str = "read", plan: str = "plain", customer: int = 7, units: float = 1.0,
-            spread: int = 2, remaining: float = 4000.0) -> api.Request:
+def request(
+    rid: str,
+    cls: str = "read",
+    plan: str = "plain",
+    customer: int = 7,
+    units: float = 1.0,
+    spread: int = 2,
+    remaining: float = 4000.0,
+) -> api.Request:
     """One client try."""
     return api.Request(rid, cls, plan, customer, remaining, units, spread)
 
 
-def outcome(send: api.Send, verdict: api.Verdict, attempt: int = 0, rtt: float = 50.0,
-            ended: bool | None = None) -> api.Outcome:
+def outcome(
+    send: api.Send, verdict: api.Verdict, attempt: int = 0, rtt: float = 50.0, ended: bool | None = None
+) -> api.Outcome:
     """The end of an attempt; a good one ends the request."""
     done = verdict is api.Verdict.OK if ended is None else ended
     return api.Outcome(send.id, attempt, send.server, verdict, rtt, done)
@@ -86,4 +94,5 @@
     """Bring a request and answer the calls it causes."""
     actions = made.handle(now, event)
     return [a for a in actions if not isinstance(a, api.Count)] + answer(
-        made, now, only(actions, api.Count), totals)
+        made, now, only(actions, api.Count), totals
+    )
