--- a/tests/standins.py
+++ b/tests/standins.py
@@ -119,9 +119,14 @@
                 self.commands.append(command)
                 listed = dict(part.split("=") for part in command[3].decode().split(","))
                 self.books.book(int(command[1], 16), int(listed["units"]), listed.get("k", ""))
-                answer = self.script.pop(0) if self.script else (
-                    b"*3\r\n$5\r\nvalue\r\n$13\r\nused=1,cost=%b\r\n$23\r\ninflight=1,latency_ms=9\r\n"
-                    % listed["units"].encode())
+                answer = (
+                    self.script.pop(0)
+                    if self.script
+                    else (
+                        b"*3\r\n$5\r\nvalue\r\n$13\r\nused=1,cost=%b\r\n$23\r\ninflight=1,latency_ms=9\r\n"
+                        % listed["units"].encode()
+                    )
+                )
                 if answer == b"RESET":
                     writer.transport.abort()
                     return
@@ -182,15 +187,31 @@
             if watch and not self.raw:
                 await self.changed.wait()
                 self.changed.clear()
-            body = self.raw.pop(0) if self.raw else json.dumps({
-                "version": self.version, "full": not watch,
-                "servers": self.changes if watch else self.servers}).encode()
+            body = (
+                self.raw.pop(0)
+                if self.raw
+                else json.dumps(
+                    {
+                        "version": self.version,
+                        "full": not watch,
+                        "servers": self.changes if watch else self.servers,
+                    }
+                ).encode()
+            )
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
 
 
 def entry(name: str, port: int, state: str = "active", kind: str = "std") -> dict[str, Any]:
-    return {"id": name, "addr": f"{HOST}:{port}", "zone": "a", "kind": kind, "cell": 0, "state": state,
-            "weight": 1.0, "started_ms": 0}
+    return {
+        "id": name,
+        "addr": f"{HOST}:{port}",
+        "zone": "a",
+        "kind": kind,
+        "cell": 0,
+        "state": state,
+        "weight": 1.0,
+        "started_ms": 0,
+    }
 
 
 # Diameter ---------------------------------------------------------------------------------------------
@@ -203,8 +224,12 @@
     raw = data.encode() if isinstance(data, str) else data
     head = 12 if vendor else 8
     word = (flags | (0x80 if vendor else 0)) << 24 | (head + len(raw))
-    return (struct.pack(">II", code, word) + (struct.pack(">I", vendor) if vendor else b"") + raw
-            + b"\0" * (-len(raw) % 4))
+    return (
+        struct.pack(">II", code, word)
+        + (struct.pack(">I", vendor) if vendor else b"")
+        + raw
+        + b"\0" * (-len(raw) % 4)
+    )
 
 
 def message(flags: int, command: int, app: int, hop: int, end: int, body: bytes) -> bytes:
@@ -218,7 +243,7 @@
     while at < len(body):
         code, word = struct.unpack_from(">II", body, at)
         head, length = (12 if word >> 31 else 8), word & 0xFFFFFF
-        found.setdefault(code, body[at + head:at + length])
+        found.setdefault(code, body[at + head : at + length])
         at += length + (-length % 4)
     return found
 
@@ -246,20 +271,51 @@
 
 
 def cer(host: str = "pos.example", app: int = 4, hop: int = 1) -> bytes:
-    return message(0x80, 257, 0, hop, hop, avp(264, host) + avp(296, "example") + avp(
-        257, b"\0\x01\x7f\0\0\1") + avp(266, 0) + avp(269, "pos", 0) + avp(258, app))
-
-
-def ccr(end: int, session: str = "", number: int = 0, action: int = 0, units: int = 2, customer: int = 5,
-        flags: int = 0xC0, hop: int | None = None, service: int = 1, extra: bytes = b"",
-        leave_out: int = 0, host: str = "pos.example", realm: str = "yoke.example") -> bytes:
+    return message(
+        0x80,
+        257,
+        0,
+        hop,
+        hop,
+        avp(264, host)
+        + avp(296, "example")
+        + avp(257, b"\0\x01\x7f\0\0\1")
+        + avp(266, 0)
+        + avp(269, "pos", 0)
+        + avp(258, app),
+    )
+
+
+def ccr(
+    end: int,
+    session: str = "",
+    number: int = 0,
+    action: int = 0,
+    units: int = 2,
+    customer: int = 5,
+    flags: int = 0xC0,
+    hop: int | None = None,
+    service: int = 1,
+    extra: bytes = b"",
+    leave_out: int = 0,
+    host: str = "pos.example",
+    realm: str = "yoke.example",
+) -> bytes:
     """RFC 8506, 3.1: an event-based request."""
     parts = {
-        263: avp(263, session or f"pos.example;1;{end}"), 264: avp(264, host), 296: avp(296, "example"),
-        283: avp(283, realm), 258: avp(258, 4), 461: avp(461, "load@example"), 416: avp(416, 4),
-        415: avp(415, number), 436: avp(436, action),
-        443: avp(443, avp(450, 4) + avp(444, f"{customer:016x}")), 439: avp(439, service),
-        437: avp(437, avp(417, struct.pack(">Q", units)))}
+        263: avp(263, session or f"pos.example;1;{end}"),
+        264: avp(264, host),
+        296: avp(296, "example"),
+        283: avp(283, realm),
+        258: avp(258, 4),
+        461: avp(461, "load@example"),
+        416: avp(416, 4),
+        415: avp(415, number),
+        436: avp(436, action),
+        443: avp(443, avp(450, 4) + avp(444, f"{customer:016x}")),
+        439: avp(439, service),
+        437: avp(437, avp(417, struct.pack(">Q", units))),
+    }
     parts.pop(leave_out, None)
     return message(flags, 272, 4, end if hop is None else hop, end, b"".join(parts.values()) + extra)
 
@@ -291,9 +347,16 @@
                 result = self.script.pop(0) if self.script else 2001
                 if result is None:
                     continue
-                body = avp(263, got.avps[263]) + avp(268, result) + base + avp(258, 4) + avp(416, 4) + avp(
-                    415, got.avps[415]) + avp(431, avp(417, struct.pack(">Q", units))) + avp(
-                    440, avp(441, 1) + avp(442, "value"))
+                body = (
+                    avp(263, got.avps[263])
+                    + avp(268, result)
+                    + base
+                    + avp(258, 4)
+                    + avp(416, 4)
+                    + avp(415, got.avps[415])
+                    + avp(431, avp(417, struct.pack(">Q", units)))
+                    + avp(440, avp(441, 1) + avp(442, "value"))
+                )
                 flags = 0x60 if 3000 <= result < 4000 else 0x40
             else:
                 if got.command == 282:
@@ -312,25 +375,62 @@
 def settings(me: int = 0, **changes: Any) -> api.Settings:
     """Settings under which a decision depends on nothing that a busy machine could change."""
     given: dict[str, Any] = {
-        "me": me, "gateways": 2, "zone": "a", "tick_ms": 4.0, "classes": (SAFE, KEYED),
-        "plans": (api.Plan("dealer", rate=0.001, burst=1000.0, over_cost=1.2),
-                  api.Plan("small", rate=0.001, burst=12.0, over_cost=1.2), api.Plan("free")),
-        "has_counter": True, "counter_timeout_ms": 10_000.0, "max_units": 6.0,
-        "max_attempts": 3, "can_cancel": True, "warm_within_ms": 0.0}
+        "me": me,
+        "gateways": 2,
+        "zone": "a",
+        "tick_ms": 4.0,
+        "classes": (SAFE, KEYED),
+        "plans": (
+            api.Plan("dealer", rate=0.001, burst=1000.0, over_cost=1.2),
+            api.Plan("small", rate=0.001, burst=12.0, over_cost=1.2),
+            api.Plan("free"),
+        ),
+        "has_counter": True,
+        "counter_timeout_ms": 10_000.0,
+        "max_units": 6.0,
+        "max_attempts": 3,
+        "can_cancel": True,
+        "warm_within_ms": 0.0,
+    }
     return api.Settings(**{**given, **changes})
 
 
-def config(discovery: int, counter: int | None, known: Roster | None = None, diameter: bool = False,
-           me: int = 0, **changes: Any) -> Config:
+def config(
+    discovery: int,
+    counter: int | None,
+    known: Roster | None = None,
+    diameter: bool = False,
+    me: int = 0,
+    **changes: Any,
+) -> Config:
     plans = {1: "dealer", 2: "small", 3: "free"}
-    second = DiameterConfig((HOST, 0), f"gw{me}.yoke.example", "yoke.example", plans,
-                            frozenset({"diameter"}), frozenset(), 0.0, 30.0, 240.0)
-    return Config(name="g", listen=(HOST, 0), discovery=(HOST, discovery),
-                  counter=(HOST, counter) if counter else None, seed=7, sockets=1024,
-                  memory_mb=192.0, known=known,
-                  settings=settings(me, has_counter=counter is not None, **changes),
-                  report_names=("latency_ms", "inflight"),
-                  connect_ms=5000.0, idle_ms=30_000.0, drain_s=0.0, diameter=second if diameter else None)
+    second = DiameterConfig(
+        (HOST, 0),
+        f"gw{me}.yoke.example",
+        "yoke.example",
+        plans,
+        frozenset({"diameter"}),
+        frozenset(),
+        0.0,
+        30.0,
+        240.0,
+    )
+    return Config(
+        name="g",
+        listen=(HOST, 0),
+        discovery=(HOST, discovery),
+        counter=(HOST, counter) if counter else None,
+        seed=7,
+        sockets=1024,
+        memory_mb=192.0,
+        known=known,
+        settings=settings(me, has_counter=counter is not None, **changes),
+        report_names=("latency_ms", "inflight"),
+        connect_ms=5000.0,
+        idle_ms=30_000.0,
+        drain_s=0.0,
+        diameter=second if diameter else None,
+    )
 
 
 def roster(*servers: dict[str, Any]) -> Roster:
@@ -352,8 +452,9 @@
 
 
 @contextlib.asynccontextmanager
-async def one_gateway(*, script: Any = None, kind: str = "std", counter: int | None = None,
-                      diameter: bool = False) -> AsyncIterator[tuple[App, Any, Discovery]]:
+async def one_gateway(
+    *, script: Any = None, kind: str = "std", counter: int | None = None, diameter: bool = False
+) -> AsyncIterator[tuple[App, Any, Discovery]]:
     """A gateway before one server of the kind."""
     made = DiameterServer(script=script) if kind == "diameter" else Backend(script=script)
     async with made as node, Discovery(entry("a", node.port, kind=kind)) as list_:
@@ -366,8 +467,16 @@
     return await asyncio.open_connection(*address[:2])
 
 
-def query(rid: str = "r1", cls: str = "balance-check", units: int = 1, customer: int = 5,
-          plan: str = "dealer", key: str = "", d: int = 60_000, body: str | None = None) -> bytes:
+def query(
+    rid: str = "r1",
+    cls: str = "balance-check",
+    units: int = 1,
+    customer: int = 5,
+    plan: str = "dealer",
+    key: str = "",
+    d: int = 60_000,
+    body: str | None = None,
+) -> bytes:
     listed = f"c={cls},t={plan},d={d}{',k=' + key if key else ''},units={units},spread=2,first=0"
     words = ["SVC.SUBMIT" if key else "SVC.QUERY", f"{customer:016x}", rid, listed]
     return resp(*words, *([body] if body is not None else []))
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -25,14 +25,21 @@
     return got.exit_code, got.output
 
 
-@pytest.mark.parametrize(("text", "faults"), [
-    ("", []), ("[counter_watch]\nenabled = true\n", []),
-    ("[counter_wach]\n", ["counter_wach: unknown; did you mean counter_watch?"]),
-    ("[counter_watch]\nenable = true\n",
-     ["counter_watch.enable: unknown; did you mean counter_watch.enabled?"]),
-    ("[log]\nformat = 'xml'\nlevel = 3\n", ["log.format: ", "log.level: "]),
-    ("[zzz]\n[counter_watch]\nenabled = 'yes'\n", ["zzz: unknown; known are", "counter_watch.enabled: "]),
-    ("[log\n", ["badgeryoke.toml: "])])
+@pytest.mark.parametrize(
+    ("text", "faults"),
+    [
+        ("", []),
+        ("[counter_watch]\nenabled = true\n", []),
+        ("[counter_wach]\n", ["counter_wach: unknown; did you mean counter_watch?"]),
+        (
+            "[counter_watch]\nenable = true\n",
+            ["counter_watch.enable: unknown; did you mean counter_watch.enabled?"],
+        ),
+        ("[log]\nformat = 'xml'\nlevel = 3\n", ["log.format: ", "log.level: "]),
+        ("[zzz]\n[counter_watch]\nenabled = 'yes'\n", ["zzz: unknown; known are", "counter_watch.enabled: "]),
+        ("[log\n", ["badgeryoke.toml: "]),
+    ],
+)
 def test_every_fault_of_the_file_is_told_by_its_key(tmp_path: Path, text: str, faults: list[str]) -> None:
     path = tmp_path / "badgeryoke.toml"
     path.write_text(text)
@@ -59,8 +66,10 @@
     assert call("check", str(tmp_path / "none.toml"))[0] == 2
 
 
-@pytest.mark.parametrize("words", ["", "serve", "check", "demo", "lab", "lab list", "lab run", "lab sim",
-                                   "lab compare", "lab report"])
+@pytest.mark.parametrize(
+    "words",
+    ["", "serve", "check", "demo", "lab", "lab list", "lab run", "lab sim", "lab compare", "lab report"],
+)
 def test_every_command_has_an_example(words: str) -> None:
     code, output = call(*words.split(), "--help")
     assert code == 0 and "Example" in output and "badgeryoke " in output
@@ -77,7 +86,8 @@
 def test_the_list_names_what_is_shipped() -> None:
     code, output = call("lab", "list", "--json")
     assert code == 0 and {"counter-dead", "counter-split", "counter-swap"} <= {
-        row["name"] for row in json.loads(output)}
+        row["name"] for row in json.loads(output)
+    }
 
 
 def test_a_bad_figure_ends_with_1_and_a_good_one_with_0() -> None:
@@ -93,8 +103,9 @@
     before = root.handlers[:], root.level
     try:
         set_up("json", "info", stream)
-        logging.getLogger("badgeryoke.core").warning("counter believed %s", "split",
-                                                     extra={"fields": {"hidden": [1]}})
+        logging.getLogger("badgeryoke.core").warning(
+            "counter believed %s", "split", extra={"fields": {"hidden": [1]}}
+        )
         logging.getLogger("badgeryoke.core").debug("not shown")
     finally:
         root.handlers[:], root.level = before
@@ -104,9 +115,12 @@
 
 def test_a_gateway_that_is_told_nothing_new_loads_nothing_new() -> None:
     """Read in a process of its own: the lean gateway imports no command line, no laboratory and no watch."""
-    script = ("import sys, badgeryoke.__main__; "
-              "print([m for m in sys.modules if m.split('.')[0] in "
-              "('click', 'lark', 'rich', 'jinja2', 'structlog', 'lab') or 'watch' in m])")
-    said = subprocess.run([sys.executable, "-c", script], cwd=ROOT, capture_output=True, text=True,
-                          check=True)
+    script = (
+        "import sys, badgeryoke.__main__; "
+        "print([m for m in sys.modules if m.split('.')[0] in "
+        "('click', 'lark', 'rich', 'jinja2', 'structlog', 'lab') or 'watch' in m])"
+    )
+    said = subprocess.run(
+        [sys.executable, "-c", script], cwd=ROOT, capture_output=True, text=True, check=True
+    )
     assert said.stdout.strip() == "[]"
--- a/tests/test_client_ends.py
+++ b/tests/test_client_ends.py
@@ -93,6 +93,7 @@
 
 def test_a_client_that_ends_its_sending_has_gone() -> None:
     """A FIN is all that a close shows: read as the end of its sending alone, no close would ever be seen."""
+
     async def test() -> None:
         async with one_gateway(script=[None]) as (app, node, _):
             reader, writer = await connect(app.address)
@@ -108,6 +109,7 @@
 
 def test_a_client_that_goes_while_no_more_is_read_of_it_is_seen() -> None:
     """More lay unread than one reading takes, and the close behind it."""
+
     async def test() -> None:
         async with one_gateway(script=[None] * 2 * MOST_WAITING) as (app, _, _):
             made = client(app)
@@ -137,12 +139,18 @@
 
 def test_nothing_begins_for_a_client_that_was_gone_when_its_bytes_had_their_turn() -> None:
     """A closed stream still gives what lies in its buffer."""
+
     async def test() -> None:
         ours, theirs = socket.socketpair()
         core = Taking()
         stream = IOStream(ours)
-        link = ClientLink(stream, core, Turns(asyncio.get_running_loop()),  # type: ignore[arg-type]
-                          lambda: True, lambda _: None)
+        link = ClientLink(
+            stream,
+            core,
+            Turns(asyncio.get_running_loop()),  # type: ignore[arg-type]
+            lambda: True,
+            lambda _: None,
+        )
         serving = asyncio.ensure_future(link.serve())
         theirs.sendall(b"".join(query(f"r{n}") for n in range(MOST_WAITING)))
         await until(lambda: core.taken == MOST_WAITING)
@@ -157,7 +165,8 @@
 
 
 def test_much_at_once_is_taken_piece_by_piece_and_not_for_a_client_that_has_gone(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     """560 queries of one write had their decisions in one turn, though their client was gone."""
     sizes: list[int] = []
     taken: Any = ClientLink._take
@@ -184,7 +193,8 @@
 
 
 def test_who_sends_on_and_on_leaves_others_their_turns(monkeypatch: pytest.MonkeyPatch) -> None:
-    """What lies in a socket is read at once, without a round of the event loop: a flood of small writes kept it."""
+    """What lies in a socket is read at once, without a round of the event loop: a flood of small writes
+    kept it."""
     taken: list[ClientLink] = []
     take: Any = ClientLink._take
     monkeypatch.setattr(front_module, "READ_AT_ONCE", 512)  # as small writes are read
@@ -209,8 +219,12 @@
     play(test)
 
 
-def test_answers_that_are_ready_at_once_are_written_as_they_are_fetched(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Three of 60,000 bytes behind a slow first one passed the stream's bound: the connection was closed over all."""
+def test_answers_that_are_ready_at_once_are_written_as_they_are_fetched(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Three of 60,000 bytes behind a slow first one passed the stream's bound: the connection was closed
+    over all."""
+
     async def test() -> None:
         async with one_gateway() as (app, _, _):
             given: list[Callable[[Answer], None]] = []
@@ -232,7 +246,9 @@
 
 
 def test_a_link_that_has_ended_leaves_nothing_to_the_collector() -> None:
-    """The last reading's exception held the frame that it was raised in: 3.6 MB lay there on a day of many clients."""
+    """The last reading's exception held the frame that it was raised in: 3.6 MB lay there on a day of many
+    clients."""
+
     async def test() -> None:
         async with one_gateway() as (app, _, _):
             gc.collect()
@@ -288,6 +304,7 @@
 
 def test_a_client_that_fetches_a_part_and_stops_is_cut_off() -> None:
     """That the first of two writes had gone out told that nothing waited to be fetched any more."""
+
     async def test() -> None:
         async with narrow() as (core, front, made):
             for rid in ("r1", "r2"):  # two writes
@@ -310,6 +327,7 @@
 
 def test_half_a_command_does_not_keep_a_client_that_fetches_nothing() -> None:
     """Its time for the command was up first, and from then on nobody looked at its answers."""
+
     async def test() -> None:
         async with narrow() as (core, front, made):
             made.sendall(b"".join(query(f"r{n}") for n in range(10)) + query("half")[:20])
@@ -330,7 +348,9 @@
 
 
 def test_the_rest_of_a_command_has_no_time_to_come_while_it_is_not_read() -> None:
-    """65 long queries of one write: the last lies half read until there is room, and its time was up by then."""
+    """65 long queries of one write: the last lies half read until there is room, and its time was up by
+    then."""
+
     async def test() -> None:
         async with narrow() as (core, front, made):
             body = "b" * (READ_AT_ONCE // 32)
@@ -355,9 +375,11 @@
 
 @pytest.mark.parametrize("end", ["sweep", "make room", "end"])
 def test_what_was_read_and_had_no_turn_yet_keeps_its_connection(
-        end: str, monkeypatch: pytest.MonkeyPatch) -> None:
-    """A reading is done one round of the event loop before it is taken: the socket was empty, no command open,
-    and the connection counted as idle."""
+    end: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A reading is done one round of the event loop before it is taken: the socket was empty, no command
+    open, and the connection counted as idle."""
+
     async def test() -> None:
         async with one_gateway() as (app, _, _):
             made, link = await linked(app)
@@ -411,7 +433,9 @@
 
 
 def test_what_crosses_our_end_is_not_sent_on() -> None:
-    """It is read so that no close comes over it and takes the last answer along; its client sends it again."""
+    """It is read so that no close comes over it and takes the last answer along; its client sends it
+    again."""
+
     async def test() -> None:
         async with one_gateway() as (app, node, _):
             made, link = await linked(app)
@@ -469,6 +493,7 @@
 def test_what_waits_to_be_accepted_when_the_listener_stops_is_answered() -> None:
     """The system had accepted it, and reset it with the listening socket; nor did the end wait for one whose
     reading had not begun."""
+
     async def test() -> None:
         async with one_gateway(script=[None]) as (app, node, _):
             waiting = [client(app) for _ in range(3)]
@@ -490,8 +515,10 @@
 
 @pytest.mark.parametrize("before", [Event.TERM, Event.SUCCEEDED])
 def test_the_time_for_the_last_answers_counts_from_sigterm(
-        before: Event, monkeypatch: pytest.MonkeyPatch) -> None:
+    before: Event, monkeypatch: pytest.MonkeyPatch
+) -> None:
     """Where a successor served already nothing had been waited for, and yet it was taken off."""
+
     async def test() -> None:
         async with one_gateway() as (app, _, _):
             later: list[tuple[float, Any]] = []
@@ -508,8 +535,7 @@
             monkeypatch.undo()
             app._drained(Event.SETTLED)
             waited = 0.25 if before is Event.TERM else 0.0
-            assert wait == pytest.approx(
-                gateway_module.KILL_COUNTS_S + gateway_module.KILL_MARGIN_S - waited)
+            assert wait == pytest.approx(gateway_module.KILL_COUNTS_S + gateway_module.KILL_MARGIN_S - waited)
 
     play(test)
 
@@ -533,7 +559,11 @@
 
 def test_a_frozen_counter_and_a_second_sigterm_delay_no_end() -> None:
     async def test() -> None:
-        async with Backend(script=[None]) as node, Counter() as counter, Discovery(entry("a", node.port)) as list_:
+        async with (
+            Backend(script=[None]) as node,
+            Counter() as counter,
+            Discovery(entry("a", node.port)) as list_,
+        ):
             counter.held.clear()
             made = config(list_.port, counter.port, roster(entry("a", node.port)), counter_timeout_ms=50.0)
             async with gateway(made, WallClock(time.monotonic, time.time)) as app:
@@ -554,8 +584,9 @@
 
 
 @pytest.mark.parametrize("inherited", [False, True])
-def test_no_socket_holds_small_writes_back(inherited: bool, tmp_path: Path,
-                                           monkeypatch: pytest.MonkeyPatch) -> None:
+def test_no_socket_holds_small_writes_back(
+    inherited: bool, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     dialled: list[socket.socket] = []
     connects: Any = IOStream.connect
 
@@ -625,6 +656,7 @@
 
 def test_idle_clients_leave_discovery_and_servers_their_descriptors(tmp_path: Path) -> None:
     """A real process with few descriptors, and more clients than these while discovery is down."""
+
     async def test() -> None:
         with socket.socket() as free:
             free.bind((HOST, 0))
@@ -632,13 +664,25 @@
         async with Backend() as node, Discovery(entry("a", node.port)) as list_:
             served, raw_port = list_, list_.port
             await served.__aexit__()
-            raw = {"name": "n1", "listen": f"{HOST}:{port}", "discovery": f"{HOST}:{raw_port}", "seed": "1f",
-                   "counter": f"{HOST}:1", "settings": PARAMS, "limits": {"sockets": 64}}
+            raw = {
+                "name": "n1",
+                "listen": f"{HOST}:{port}",
+                "discovery": f"{HOST}:{raw_port}",
+                "seed": "1f",
+                "counter": f"{HOST}:1",
+                "settings": PARAMS,
+                "limits": {"sockets": 64},
+            }
             (tmp_path / "config.json").write_text(json.dumps(raw))
             process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "badgeryoke", cwd=Path(__file__).resolve().parent.parent,
-                env={**os.environ, "LB_CONFIG": str(tmp_path / "config.json")}, stderr=subprocess.PIPE,
-                preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (64, 64)))
+                sys.executable,
+                "-m",
+                "badgeryoke",
+                cwd=Path(__file__).resolve().parent.parent,
+                env={**os.environ, "LB_CONFIG": str(tmp_path / "config.json")},
+                stderr=subprocess.PIPE,
+                preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (64, 64)),
+            )
             assert process.stderr is not None
             try:
                 while b"listens on" not in await process.stderr.readline():
--- a/tests/test_cold_ramp.py
+++ b/tests/test_cold_ramp.py
@@ -1,4 +1,5 @@
-"""Cold servers under the sum of all gateways: the most that one is sent in any window, against what it bears."""
+"""Cold servers under the sum of all gateways: the most that one is sent in any window, against what it
+bears."""
 
 from __future__ import annotations
 
@@ -26,10 +27,16 @@
 
     def settings(self) -> dict[str, Any]:
         """As a gateway is told them."""
-        return {"cold_from": self.cold_from, "warm_within_ms": self.warm_within_ms,
-                "fall_multiple": self.fall_multiple, "fall_window_ms": self.fall_window_ms,
-                "classes": tuple(api.RequestClass(str(n), aim, 4 * aim, api.Effect.SAFE)
-                                 for n, (_, _, aim) in enumerate(self.classes))}
+        return {
+            "cold_from": self.cold_from,
+            "warm_within_ms": self.warm_within_ms,
+            "fall_multiple": self.fall_multiple,
+            "fall_window_ms": self.fall_window_ms,
+            "classes": tuple(
+                api.RequestClass(str(n), aim, 4 * aim, api.Effect.SAFE)
+                for n, (_, _, aim) in enumerate(self.classes)
+            ),
+        }
 
     @property
     def mean(self) -> float:
@@ -47,8 +54,8 @@
 
 
 class Ramp(Fleet):
-    """Gateways of uneven shares, some of which start afresh each second, before warm servers and then cold ones as
-    well; a client that was refused comes twice more, through any gateway."""
+    """Gateways of uneven shares, some of which start afresh each second, before warm servers and then cold
+    ones as well; a client that was refused comes twice more, through any gateway."""
 
     def __init__(self, site: Site, gateways: int, warm: int, seed: int, load: float = 0.6) -> None:
         self.site, self.born = site, 0.0
@@ -84,8 +91,19 @@
 
     def _ask(self, at: float, n: int, cls: int, again: int) -> None:
         self._count += 1
-        self._later(at, n, api.Request(f"{cls}-{again}-{self._count}", str(cls), "plain", self._count,
-                                       4 * self.site.classes[cls][2], 1.0, 1))
+        self._later(
+            at,
+            n,
+            api.Request(
+                f"{cls}-{again}-{self._count}",
+                str(cls),
+                "plain",
+                self._count,
+                4 * self.site.classes[cls][2],
+                1.0,
+                1,
+            ),
+        )
 
     def _act(self, n: int, actions: list[api.Action]) -> None:
         for action in actions:
@@ -101,8 +119,11 @@
                     took = work * self.draw.expovariate(1.0) / part * max(1.0, self.out[to] / self.cores)
                     verdict = api.Verdict.OK if took < action.timeout_ms else api.Verdict.TIMEOUT
                     took = min(took, action.timeout_ms)
-                    self._later(self.now + took, n, api.Outcome(
-                        rid, attempt, to, verdict, took, verdict is api.Verdict.OK))
+                    self._later(
+                        self.now + took,
+                        n,
+                        api.Outcome(rid, attempt, to, verdict, took, verdict is api.Verdict.OK),
+                    )
                 case api.Refuse(id=rid):
                     self.refused += 1
                     if int(rid[2]) < 2:
@@ -112,25 +133,36 @@
                     super()._act(n, [action])
 
     def worst(self) -> tuple[float, float, float, float]:
-        """The highest sum in any window as a part of N + 2 root N + 2, N being what is borne at the window's begin;
-        how old the server was, that sum, and N."""
+        """The highest sum in any window as a part of N + 2 root N + 2, N being what is borne at the
+        window's begin; how old the server was, that sum, and N."""
         found, site = (0.0, 0.0, 0.0, 0.0), self.site
         for to, size in self.size.items():
-            mine = [(at, cost) for (at, _, got), cost in zip(self.sends, self.cost, strict=True)
-                    if got == to and at < self.born + site.warm_within_ms]
+            mine = [
+                (at, cost)
+                for (at, _, got), cost in zip(self.sends, self.cost, strict=True)
+                if got == to and at < self.born + site.warm_within_ms
+            ]
             sums = [0.0, *accumulate(cost for _, cost in mine)]
             for first, (at, _) in enumerate(mine):
-                bears = (site.fall_multiple * site.part(at - self.born) * size * site.cores / site.mean
-                         * site.fall_window_ms)
+                bears = (
+                    site.fall_multiple
+                    * site.part(at - self.born)
+                    * size
+                    * site.cores
+                    / site.mean
+                    * site.fall_window_ms
+                )
                 got = sums[bisect.bisect_left(mine, (at + site.fall_window_ms,))] - sums[first]
                 found = max(found, (got / (bears + 2 * bears**0.5 + 2), at - self.born, got, bears))
         return found
 
 
-@pytest.mark.parametrize(("site", "gateways"), [
-    (QUICK, 1), (UNEVEN, 3), (SLOW, 20), (UNEVEN, 30), (QUICK, 200), (SLOW, 200)])
+@pytest.mark.parametrize(
+    ("site", "gateways"), [(QUICK, 1), (UNEVEN, 3), (SLOW, 20), (UNEVEN, 30), (QUICK, 200), (SLOW, 200)]
+)
 def test_cold_servers_bear_what_all_gateways_send_them(site: Site, gateways: int) -> None:
-    """Half as many cold ones as warm ones, and smaller than those; one gateway of ten starts afresh each second."""
+    """Half as many cold ones as warm ones, and smaller than those; one gateway of ten starts afresh each
+    second."""
     ramp = Ramp(site, gateways, 24, gateways)
     ramp.play(3)
     ramp.release(24, 12, 0.7)
@@ -140,8 +172,8 @@
 
 @pytest.mark.parametrize(("gateways", "keep"), [(20, 0), (200, 0), (200, 2)])
 def test_servers_that_are_all_replaced_at_once_bear_it_too(gateways: int, keep: int) -> None:
-    """Each gateway passes over cold ones without a turn: where nearly all are cold it met them all, with a turn
-    reckoned for the few that it keeps to."""
+    """Each gateway passes over cold ones without a turn: where nearly all are cold it met them all, with a
+    turn reckoned for the few that it keeps to."""
     ramp = Ramp(SLOW, gateways, 60, 1 + keep)
     ramp.play(3)
     ramp.release(keep, 60 - keep)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -102,7 +102,6 @@
         return self.link.executions[-1]
 
 
-
 def test_an_answer_that_has_begun_takes_none_of_what_servers_bear() -> None:
     """Long values held the places of queries that servers had room for."""
     made = helpers.gateway(has_counter=False)
@@ -124,25 +123,33 @@
     assert bench.answers == [Served(b"value", 3.0)] and not bench.core.unanswered
 
 
-SILENT_CASES = pytest.mark.parametrize(("cls", "written", "kind"), [
-    pytest.param("balance-check", True, Refused, id="safe"),
-    pytest.param("load-send", True, Refused, id="keyed at all servers"),
-    pytest.param("once", True, Failed, id="unsafe, written whole"),
-    pytest.param("once", False, Refused, id="unsafe, never written whole"),
-])
+SILENT_CASES = pytest.mark.parametrize(
+    ("cls", "written", "kind"),
+    [
+        pytest.param("balance-check", True, Refused, id="safe"),
+        pytest.param("load-send", True, Refused, id="keyed at all servers"),
+        pytest.param("once", True, Failed, id="unsafe, written whole"),
+        pytest.param("once", False, Refused, id="unsafe, never written whole"),
+    ],
+)
 
 
 @SILENT_CASES
 def test_near_sigkill_each_open_query_gets_its_answer_before_its_deadline(
-        cls: str, written: bool, kind: type) -> None:
+    cls: str, written: bool, kind: type
+) -> None:
     """A deadline may be longer than what SIGKILL counts with, and an end without an answer is a loss."""
     bench = Bench(can_cancel=False)
     bench.ask(cls, d=3300.0)
     if written:
         bench.last.written()
     bench.loop.run(1.0)
-    gateway = SimpleNamespace(core=bench.core, done=SimpleNamespace(is_set=lambda: False), _loop=bench.loop,
-                              _drained=lambda event: None)
+    gateway = SimpleNamespace(
+        core=bench.core,
+        done=SimpleNamespace(is_set=lambda: False),
+        _loop=bench.loop,
+        _drained=lambda event: None,
+    )
     App._wait_no_longer(gateway)  # type: ignore[arg-type]
     bench.loop.run(0.01)
     assert [type(answer) for answer in bench.answers] == [kind] and not bench.core.unanswered
@@ -187,13 +194,23 @@
 
 
 def test_one_attempt_at_a_time_and_none_after_the_answer(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(Gateway, "handle", lambda self, now, got: (
-        [api.Send(got.id, 1, 500.0), api.Send(got.id, 1, 500.0)] if isinstance(got, api.Request) else []))
+    monkeypatch.setattr(
+        Gateway,
+        "handle",
+        lambda self, now, got: (
+            [api.Send(got.id, 1, 500.0), api.Send(got.id, 1, 500.0)] if isinstance(got, api.Request) else []
+        ),
+    )
     bench = Bench()
     bench.ask()
     assert len(bench.link.executions) == 1
-    monkeypatch.setattr(Gateway, "handle", lambda self, now, got: (
-        [api.Refuse(got.id), api.Send(got.id, 1, 500.0)] if isinstance(got, api.Request) else []))
+    monkeypatch.setattr(
+        Gateway,
+        "handle",
+        lambda self, now, got: (
+            [api.Refuse(got.id), api.Send(got.id, 1, 500.0)] if isinstance(got, api.Request) else []
+        ),
+    )
     bench.ask()
     assert len(bench.link.executions) == 1 and len(bench.answers) == 1
 
@@ -238,7 +255,8 @@
 
 @pytest.mark.parametrize("first", ["answer", "cancel", "deadline", "client leaves"])
 def test_an_answer_and_its_time_out_in_one_turn_make_one_answer_and_one_outcome(
-        first: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    first: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
     """Whichever comes first counts, and the module hears of the same."""
     outcomes: list[api.Outcome] = []
     real = Gateway.handle
@@ -257,7 +275,8 @@
         "answer": lambda: one.served(b"value"),
         "cancel": lambda: bench.core.post(bench.core._act, 0.0, api.Cancel("1", 0)),
         "deadline": lambda: bench.core.post(bench.core._overdue, bench.core._running["1"]),
-        "client leaves": left}
+        "client leaves": left,
+    }
     steps[first]()
     if first != "answer":
         bench.core.post(lambda: one.served(b"value"))
@@ -267,15 +286,16 @@
     bench.loop.run(3.0)
     verdicts = {"answer": api.Verdict.OK, "deadline": api.Verdict.TIMEOUT}
     assert [got.verdict for got in outcomes] == [verdicts.get(first, api.Verdict.CANCELLED)]
-    assert [type(got) for got in bench.answers] == {
-        "answer": [Served], "client leaves": []}.get(first, [Failed])
+    assert [type(got) for got in bench.answers] == {"answer": [Served], "client leaves": []}.get(
+        first, [Failed]
+    )
     assert not bench.core._running and len(bench.link.executions) == 1
 
 
 @pytest.mark.parametrize("waits", [False, True])
 def test_a_query_that_new_settings_overtook_is_refused_and_not_repeated_by_them(waits: bool) -> None:
-    """It was checked and written by the old rule on repeats, and repeated by the new one: a class that had become
-    safe to repeat got a second attempt of a request that was not."""
+    """It was checked and written by the old rule on repeats, and repeated by the new one: a class that had
+    become safe to repeat got a second attempt of a request that was not."""
     bench = Bench()
     turn: list[Any] = []
 
@@ -314,16 +334,19 @@
     assert sum(isinstance(answer, Refused) for answer in bench.answers) >= 600 - 512
 
 
-@pytest.mark.parametrize(("stage", "method", "verdict"), [
-    (Stage.NOT_WRITTEN, "lost", api.Verdict.CONNECT_FAILED),
-    (Stage.WRITTEN, "lost", api.Verdict.RESET),
-    (Stage.NOT_WRITTEN, "turned_away", api.Verdict.FULL),
-    (Stage.WRITTEN, "error", api.Verdict.ERROR),
-    (Stage.WRITTEN, "abandon", api.Verdict.TIMEOUT),
-    (Stage.NOT_WRITTEN, "abandon", api.Verdict.CONNECT_FAILED),
-    ("begun", "abandon", api.Verdict.TIMEOUT),  # the rest may go out before the link hears of it
-    ("begun", "lost", api.Verdict.CONNECT_FAILED),
-])
+@pytest.mark.parametrize(
+    ("stage", "method", "verdict"),
+    [
+        (Stage.NOT_WRITTEN, "lost", api.Verdict.CONNECT_FAILED),
+        (Stage.WRITTEN, "lost", api.Verdict.RESET),
+        (Stage.NOT_WRITTEN, "turned_away", api.Verdict.FULL),
+        (Stage.WRITTEN, "error", api.Verdict.ERROR),
+        (Stage.WRITTEN, "abandon", api.Verdict.TIMEOUT),
+        (Stage.NOT_WRITTEN, "abandon", api.Verdict.CONNECT_FAILED),
+        ("begun", "abandon", api.Verdict.TIMEOUT),  # the rest may go out before the link hears of it
+        ("begun", "lost", api.Verdict.CONNECT_FAILED),
+    ],
+)
 def test_an_end_carries_how_far_the_attempt_had_come(stage: Any, method: str, verdict: api.Verdict) -> None:
     ends: list[Any] = []
     one = Execution(Query("r", "c", "p", 1, 1.0, 1.0, 1), 0, 1, 0.0, 1.0, lambda _, end: ends.append(end))
--- a/tests/test_counter_faults.py
+++ b/tests/test_counter_faults.py
@@ -105,8 +105,8 @@
 @pytest.mark.parametrize("seen", [False, True])
 @pytest.mark.parametrize("unasked", [b"$1\r\n", b"$1\r\n9\r\n"])
 def test_what_nobody_asked_for_is_no_part_of_the_next_answer(unasked: bytes, seen: bool) -> None:
-    """Half an answer on a resting connection lay there until the next call: its units had been added, and counted as
-    such that may have been.  A whole one that was not read yet was taken for the total."""
+    """Half an answer on a resting connection lay there until the next call: its units had been added, and
+    counted as such that may have been.  A whole one that was not read yet was taken for the total."""
 
     async def test() -> None:
         async with Counter() as counter:
@@ -126,7 +126,8 @@
 
 
 def test_without_a_descriptor_calls_fail_at_once_and_the_counter_is_tried_once_a_second(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     waits: list[float] = []
 
     def none(address: tuple[str, int]) -> socket.socket:
@@ -167,9 +168,11 @@
 
 
 def test_what_of_a_batch_is_out_may_have_been_added_though_the_rest_is_not(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     """A batch that stuck half way counted as unwritten whole: an answer to its first call ended the
     connection, and what the counter had added was told again."""
+
     def small(address: tuple[str, int]) -> socket.socket:
         made = new_socket(address)
         made.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2048)
--- a/tests/test_dialling.py
+++ b/tests/test_dialling.py
@@ -36,8 +36,9 @@
     async def test() -> None:
         ends: asyncio.Queue[End] = asyncio.Queue()
         loop = Turns(asyncio.get_running_loop())
-        link = RespServerLink((HOST, silent), loop, lambda: NOW_MS, report_names=(), connect_ms=60.0,
-                              idle_ms=1000.0, most=4)
+        link = RespServerLink(
+            (HOST, silent), loop, lambda: NOW_MS, report_names=(), connect_ms=60.0, idle_ms=1000.0, most=4
+        )
         asked = Query("a1", "read", "plain", 7, 4000.0, 1.0, 2, safe=True)
         link.start(Execution(asked, 0, 1, NOW_MS, NOW_MS + 4000.0, lambda _, end: ends.put_nowait(end)))
         end = await asyncio.wait_for(ends.get(), 5)  # without this a fault would only show as a hang
--- a/tests/test_diameter.py
+++ b/tests/test_diameter.py
@@ -81,32 +81,42 @@
     async def test(app: App, node: Backend) -> None:
         peer = await open_peer(app)
         proxy = avp(284, avp(280, "p") + avp(33, "state"))
-        debit, check = sorted(await call(peer, ccr(7, hop=70, extra=proxy), ccr(8, hop=80, action=2)),
-                              key=lambda got: got.hop)
+        debit, check = sorted(
+            await call(peer, ccr(7, hop=70, extra=proxy), ccr(8, hop=80, action=2)), key=lambda got: got.hop
+        )
         assert (debit.result, debit.hop, debit.end, debit.flags) == (2001, 70, 7, 0x40)
         assert debit.avps[263] == b"pos.example;1;7" and debit.avps[284] == avps(proxy)[284]
         assert struct.unpack(">Q", avps(debit.avps[431])[417]) == (2,)
         assert avps(debit.avps[440])[442] == b"value"
         assert (check.result, check.avps[422]) == (2001, b"\0\0\0\0")
         assert sorted((c[0], c[3].split(b",")[0]) for c in node.commands) == [
-            (b"SVC.QUERY", b"c=balance-check"), (b"SVC.SUBMIT", b"c=load-send")]
+            (b"SVC.QUERY", b"c=balance-check"),
+            (b"SVC.SUBMIT", b"c=load-send"),
+        ]
         peer[1].close()
 
     with_gateway(test)
 
 
-@pytest.mark.parametrize(("check", "debit", "sent"), [
-    (None, None, ["read", "write"]), ("list", "pay", ["list", "pay"]), ("gone", "gone", [])])
-def test_the_classes_of_an_event_are_those_that_the_file_names(check: str | None, debit: str | None,
-                                                               sent: list[str]) -> None:
+@pytest.mark.parametrize(
+    ("check", "debit", "sent"),
+    [(None, None, ["read", "write"]), ("list", "pay", ["list", "pay"]), ("gone", "gone", [])],
+)
+def test_the_classes_of_an_event_are_those_that_the_file_names(
+    check: str | None, debit: str | None, sent: list[str]
+) -> None:
     async def test() -> None:
         async with Backend() as node, Discovery(entry("a", node.port)) as list_:
-            classes = tuple(replace(cls, name=name) for cls, name in (
-                (SAFE, "read"), (SAFE, "list"), (KEYED, "write"), (KEYED, "pay")))
+            classes = tuple(
+                replace(cls, name=name)
+                for cls, name in ((SAFE, "read"), (SAFE, "list"), (KEYED, "write"), (KEYED, "pay"))
+            )
             made = config(list_.port, None, roster(entry("a", node.port)), True, classes=classes)
             assert made.diameter is not None
-            app = App(replace(made, diameter=replace(made.diameter, check_class=check, debit_class=debit)),
-                      lambda: NOW_MS)
+            app = App(
+                replace(made, diameter=replace(made.diameter, check_class=check, debit_class=debit)),
+                lambda: NOW_MS,
+            )
             app.start()
             await until(lambda: app._hosts.ready)
             peer = await open_peer(app)
@@ -270,9 +280,15 @@
 def test_identifiers_of_two_requests_are_not_sent_on() -> None:
     async def test(app: App, node: Backend) -> None:
         peer = await open_peer(app)
-        results = [(await call(peer, sent))[0].result for sent in (
-            ccr(9, "pos.example;1;s"), ccr(10, "pos.example;1;s"), ccr(9, "pos.example;1;t"),
-            ccr(10, "pos.example;1;s", number=1))]
+        results = [
+            (await call(peer, sent))[0].result
+            for sent in (
+                ccr(9, "pos.example;1;s"),
+                ccr(10, "pos.example;1;s"),
+                ccr(9, "pos.example;1;t"),
+                ccr(10, "pos.example;1;s", number=1),
+            )
+        ]
         assert results == [2001, 5012, 5012, 2001] and len(node.commands) == 2
         peer[1].close()
 
@@ -316,8 +332,9 @@
 
 
 @pytest.mark.parametrize(("cls", "script", "answer", "sent"), SERVER_ANSWERS)
-def test_what_a_diameter_server_answers_becomes_an_outcome(cls: str, script: list[int | None], answer: Any,
-                                                           sent: int) -> None:
+def test_what_a_diameter_server_answers_becomes_an_outcome(
+    cls: str, script: list[int | None], answer: Any, sent: int
+) -> None:
     async def test(app: App, node: DiameterServer) -> None:
         key = "5c0f6e1a2b3d4c59" if cls == "load-send" else ""
         [got] = await ask(app, query("r", cls, key=key, body="body"))
@@ -431,8 +448,10 @@
             listed = [entry("a", node.port), entry("b", other.port, kind="diameter" if mixed else "std")]
             async with Discovery(*listed) as list_:
                 known = roster(*listed)
-                async with gateway(config(list_.port, counter.port, known, mixed)) as one, gateway(
-                        config(list_.port, counter.port, known, mixed, me=1)) as two:
+                async with (
+                    gateway(config(list_.port, counter.port, known, mixed)) as one,
+                    gateway(config(list_.port, counter.port, known, mixed, me=1)) as two,
+                ):
                     apps = [one, two]
                     served = []
                     for n, customer, units, action in queries:
@@ -440,16 +459,33 @@
                             app = apps[(n // 2 + turn) % 2]
                             if mixed and n % 4 < 2:
                                 reader, writer = await connect(app.diameter_address)
-                                writer.write(cer() + ccr(
-                                    n, action=action, units=units, customer=customer, service=2,
-                                    flags=0xD0 if turn else 0xC0, extra=event_time(NOW_MS)))
+                                writer.write(
+                                    cer()
+                                    + ccr(
+                                        n,
+                                        action=action,
+                                        units=units,
+                                        customer=customer,
+                                        service=2,
+                                        flags=0xD0 if turn else 0xC0,
+                                        extra=event_time(NOW_MS),
+                                    )
+                                )
                                 await read_message(reader)
                                 served.append((await read_message(reader)).result == 2001)
                                 writer.close()
                             else:
-                                [answer] = await ask(app, query(
-                                    f"{n}-{turn}", "balance-check" if action else "load-send", units,
-                                    customer, "small", key="" if action else f"{n:016x}"))
+                                [answer] = await ask(
+                                    app,
+                                    query(
+                                        f"{n}-{turn}",
+                                        "balance-check" if action else "load-send",
+                                        units,
+                                        customer,
+                                        "small",
+                                        key="" if action else f"{n:016x}",
+                                    ),
+                                )
                                 served.append(answer == b"value")
                     return dict(books.units), books.dropped, counter.units, served
 
@@ -479,22 +515,33 @@
 
     loop = Turns(FakeLoop())
     me = PeerIdentity("gw0.yoke.example", "yoke.example", "127.0.0.1", 1)
-    owner = DiameterServerLink(("127.0.0.1", 1), loop, lambda: 0.0, me=me, services={},
-                               connect_ms=100.0, idle_ms=100.0, watchdog_s=30.0)
+    owner = DiameterServerLink(
+        ("127.0.0.1", 1),
+        loop,
+        lambda: 0.0,
+        me=me,
+        services={},
+        connect_ms=100.0,
+        idle_ms=100.0,
+        watchdog_s=30.0,
+    )
     connection = server_link._Connection(cast(IOStream, Stuck()), owner, loop, 30.0)
     connection.state = State.OPEN
     ends: dict[str, Verdict] = {}
     for name in ("first", "second", "last"):
         asked = Query(name, "load-send", "small", 5, 1000.0, 1.0, 1, key=name)
-        connection.post(connection.write, Execution(
-            asked, 0, 1, 0.0, 1000.0, lambda one, end: ends.update({one.query.id: end.verdict})))
+        connection.post(
+            connection.write,
+            Execution(asked, 0, 1, 0.0, 1000.0, lambda one, end: ends.update({one.query.id: end.verdict})),
+        )
     loop.run()
     connection.gone()
     assert ends == {"first": Verdict.RESET, "second": Verdict.RESET, "last": Verdict.CONNECT_FAILED}
 
 
 def test_more_requests_than_a_connection_may_have_are_told_when_to_come_back(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     monkeypatch.setattr(client_link, "MOST_OUT", 1)
 
     async def test(app: App, node: DiameterServer) -> None:
--- a/tests/test_discovery_clock.py
+++ b/tests/test_discovery_clock.py
@@ -52,7 +52,8 @@
 
 
 class Agent(Standin):
-    """What discovery tells: the whole list, then changes, by versions; `mood` says how it answers each call."""
+    """What discovery tells: the whole list, then changes, by versions; `mood` says how it answers each
+    call."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -94,31 +95,45 @@
                 if self.mood != "well":
                     await reader.read()
                     return
-            body = json.dumps({"version": len(self.history), "full": not held, "servers": self.history[held:]},
-                              indent=self.indent).encode()
+            body = json.dumps(
+                {"version": len(self.history), "full": not held, "servers": self.history[held:]},
+                indent=self.indent,
+            ).encode()
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
 
 
 class Watching:
     """The host groups of so many gateways, and when each heard what."""
 
-    def __init__(self, port: int, gateways: int, of: int = 0, known: Roster | None = None,
-                 draw: Callable[[], float] | None = None) -> None:
+    def __init__(
+        self,
+        port: int,
+        gateways: int,
+        of: int = 0,
+        known: Roster | None = None,
+        draw: Callable[[], float] | None = None,
+    ) -> None:
         loop = asyncio.get_running_loop()
         self.heard: list[list[tuple[float, Members]]] = [[] for _ in range(gateways)]
 
         def told(own: list[tuple[float, Members]]) -> Callable[[Members, object], None]:
             return lambda members, _: own.append((loop.time(), members))
 
-        self.groups = [HostGroup((HOST, port), known, Turns(loop), told(own), of or gateways,
-                                 draw or random.Random(n).random) for n, own in enumerate(self.heard)]
+        self.groups = [
+            HostGroup(
+                (HOST, port), known, Turns(loop), told(own), of or gateways, draw or random.Random(n).random
+            )
+            for n, own in enumerate(self.heard)
+        ]
         for group in self.groups:
             group.start()
 
     def last(self) -> float:
         """When the last gateway heard that a server had gone; raises StopIteration where one has not."""
-        return max(next(at for at, members in own if any(s.state is State.GONE for s in members.servers))
-                   for own in self.heard)
+        return max(
+            next(at for at, members in own if any(s.state is State.GONE for s in members.servers))
+            for own in self.heard
+        )
 
     def __enter__(self) -> Watching:
         return self
@@ -133,8 +148,11 @@
 
 @pytest.mark.parametrize("gateways", [1, 3, 40, 200, 10_000])
 def test_the_worst_sum_stays_under_the_clock(gateways: int) -> None:
-    """A pause could take 5.4 s, and a try behind it 3 s more.  The last term is the try that is answered at once."""
-    group = HostGroup((HOST, 1), None, Turns(asyncio.new_event_loop()), lambda *_: None, gateways, lambda: 1.0)
+    """A pause could take 5.4 s, and a try behind it 3 s more.  The last term is the try that is answered
+    at once."""
+    group = HostGroup(
+        (HOST, 1), None, Turns(asyncio.new_event_loop()), lambda *_: None, gateways, lambda: 1.0
+    )
     pause, again = max(group.pause() for _ in range(30)), group.pause(silent=True)
     behind_silence, later = group.pause(), group.pause()
     probe, wait, whole = host_group.PROBE_MS / 1000, host_group.WAIT_MS / 1000, host_group.WHOLE_S
@@ -151,6 +169,7 @@
 @pytest.mark.parametrize("gateways", [1, 40, 200])
 def test_watches_that_fall_silent_are_opened_anew_within_the_clock(gateways: int) -> None:
     """The next try could lie 7.5 s off: it went by a back-off that an earlier crowd had made long."""
+
     async def test() -> None:
         loop = asyncio.get_running_loop()
         async with Agent() as agent:
@@ -172,14 +191,16 @@
 
 @pytest.mark.parametrize("gateways", [1, 200])
 def test_an_outage_leaves_no_gateway_without_an_open_call(gateways: int) -> None:
-    """Found in herd+mass: a list that an agent had from the outage's end came 0.39 s late, out of a pause of 1.5 s."""
+    """Found in herd+mass: a list that an agent had from the outage's end came 0.39 s late, out of a pause
+    of 1.5 s."""
+
     async def test() -> None:
         async with Agent() as agent:
             with Watching(agent.port, 1, of=gateways):
                 await asyncio.sleep(5.0)
                 agent.mood, before = "silent", len(agent.calls)
                 await asyncio.sleep(20.0)
-                again = agent.calls[before + 1 if agent.calls[before] < 5.0 else before:]
+                again = agent.calls[before + 1 if agent.calls[before] < 5.0 else before :]
                 assert len(agent.left) >= 4 and len(again) >= len(agent.left)
                 assert max(at - left for left, at in zip(agent.left, again, strict=False)) < 0.2
 
@@ -187,8 +208,11 @@
 
 
 @pytest.mark.parametrize(("gateways", "most"), [(3, 6), (40, 50), (200, 160)])
-def test_an_outage_is_asked_through_at_a_bounded_pace_and_ends_at_once_for_all(gateways: int, most: int) -> None:
+def test_an_outage_is_asked_through_at_a_bounded_pace_and_ends_at_once_for_all(
+    gateways: int, most: int
+) -> None:
     """Silent for 8 s: each try waited 6 s for its answer, and the next stood off for up to 7.5 s more."""
+
     async def test() -> None:
         loop = asyncio.get_running_loop()
         async with Agent() as agent:
@@ -199,7 +223,9 @@
                 await asyncio.sleep(7.0)
                 agent.history.append(GONE)
                 await asyncio.sleep(1.0)
-                calls = [at for at in agent.calls[before:] if at > fell + 5.5]  # the first two rounds are over
+                calls = [
+                    at for at in agent.calls[before:] if at > fell + 5.5
+                ]  # the first two rounds are over
                 assert most_in_a_window(calls, 1.0) <= most and len(agent.calls) - before <= 6 * gateways
                 agent.mood = "well"
                 await asyncio.sleep(8.0)
@@ -240,6 +266,7 @@
 @pytest.mark.parametrize("mood", ["well", "full", "silent"])
 def test_a_new_address_is_asked_at_once_also_out_of_a_pause(mood: str) -> None:
     """SIGHUP counts after 4 s, and a pause of 7.5 s was waited to its end."""
+
     async def test() -> None:
         async with Agent() as agent, Agent() as moved:
             moved.change(GONE)
@@ -277,6 +304,7 @@
 @pytest.mark.parametrize("turns", range(5))
 def test_an_end_that_crosses_a_lost_connection_ends_the_watch(turns: int) -> None:
     """The fault was taken in its place, and a process that ended by its tasks went on for ever."""
+
     async def test() -> None:
         async with Agent() as agent:
             with Watching(agent.port, 1) as watching:
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -79,8 +79,13 @@
     def __init__(self, node: Node, counter: Counter, moved: Counter, list_: Discovery) -> None:
         self.node, self.counter, self.moved, self.list = node, counter, moved, list_
         self.now = NOW_MS
-        made = config(list_.port, counter.port, roster(entry("a", node.port)),
-                      classes=(SAFE, KEYED, ONCE), counter_timeout_ms=50.0)
+        made = config(
+            list_.port,
+            counter.port,
+            roster(entry("a", node.port)),
+            classes=(SAFE, KEYED, ONCE),
+            counter_timeout_ms=50.0,
+        )
         self.made = made
         self.app = self.start()
         self.told: list[bytes | str] = []  # answers of the query, in full
@@ -132,8 +137,12 @@
 
 @contextlib.asynccontextmanager
 async def world() -> AsyncIterator[World]:
-    async with (Node() as node, Counter() as counter, Counter() as moved,
-                Discovery(entry("a", node.port)) as list_):
+    async with (
+        Node() as node,
+        Counter() as counter,
+        Counter() as moved,
+        Discovery(entry("a", node.port)) as list_,
+    ):
         made = World(node, counter, moved, list_)
         await until(lambda: made.app._counter and made.app._counter._used and len(list_.calls) >= 2)
         try:
@@ -259,8 +268,18 @@
     await until(lambda: at.app._counter and at.app._counter._used and at.app._hosts.ready)
 
 
-STAGES = [taken, waiting_for_the_counter, not_yet_written, partly_written, written_whole, answer_partly_in,
-          answered_not_settled, units_gathered, report_out, report_answered]
+STAGES = [
+    taken,
+    waiting_for_the_counter,
+    not_yet_written,
+    partly_written,
+    written_whole,
+    answer_partly_in,
+    answered_not_settled,
+    units_gathered,
+    report_out,
+    report_answered,
+]
 FAULTS = [client_leaves, server_resets, counter_resets, server_drained, clock_jumps, sigterm, sighup, crashes]
 
 
@@ -268,9 +287,14 @@
 # gathered, and corrections wait for the next call, which a gateway that ends does not make.  The others err
 # on the safe side: charged when the attempt began, not given back though none came whole to a server.
 KNOWN: dict[tuple[Any, Any], int] = {
-    (units_gathered, crashes): 2, (answered_not_settled, crashes): 1, (answered_not_settled, sigterm): 1,
-    (not_yet_written, client_leaves): -2, (partly_written, client_leaves): -2,
-    (waiting_for_the_counter, crashes): -2, (not_yet_written, crashes): -2, (partly_written, crashes): -2,
+    (units_gathered, crashes): 2,
+    (answered_not_settled, crashes): 1,
+    (answered_not_settled, sigterm): 1,
+    (not_yet_written, client_leaves): -2,
+    (partly_written, client_leaves): -2,
+    (waiting_for_the_counter, crashes): -2,
+    (not_yet_written, crashes): -2,
+    (partly_written, crashes): -2,
 }
 
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -74,8 +74,9 @@
     """When all gateways ask discovery again, which has turned all of them away at 0 and goes on doing so."""
     calls = []
     for n in range(gateways):
-        group = HostGroup(("127.0.0.1", 1), None, Turns(FakeLoop()), lambda *_: None, gateways,
-                          random.Random(n).random)
+        group = HostGroup(
+            ("127.0.0.1", 1), None, Turns(FakeLoop()), lambda *_: None, gateways, random.Random(n).random
+        )
         at, own = 0.0, []
         while (at := at + group.pause()) < seconds:
             own.append(at)
--- a/tests/test_fleet_attacks.py
+++ b/tests/test_fleet_attacks.py
@@ -1,4 +1,5 @@
-"""What other tests and the drawn fleets did not find when it was planted; and what the code itself still lets through.
+"""What other tests and the drawn fleets did not find when it was planted; and what the code itself still lets
+through.
 
 `docs/design/planted-faults.md` has the table.
 """
@@ -146,8 +147,11 @@
 
 def copy(term: int, *terms: int, vote: str = "") -> tuple[Replica, Kept]:
     """a/1 of three, with entries of these terms; nothing is known as committed."""
-    return alone(Saved(term, vote, Snapshot(0, 0, THREE, EMPTY),
-                       tuple(entry(at, one) for at, one in enumerate(terms, 1))))
+    return alone(
+        Saved(
+            term, vote, Snapshot(0, 0, THREE, EMPTY), tuple(entry(at, one) for at, one in enumerate(terms, 1))
+        )
+    )
 
 
 def leading(term: int, *terms: int) -> tuple[Replica, Kept]:
@@ -165,18 +169,23 @@
     return int(replica.status(0.0)["members"][who]["match"])
 
 
-# Votes ----------------------------------------------------------------------------------------------------------------
+# Votes
+# ----------------------------------------------------------------------------------------------------------------
 
 
 @pytest.mark.parametrize("pre", [True, False])
-@pytest.mark.parametrize(("last_index", "last_term", "granted"), [
-    (9, 2, False),  # longer, of an older term
-    (1, 3, False),  # of the same term, shorter
-    (2, 3, True),
-    (1, 4, True),  # shorter, of a later term
-])
+@pytest.mark.parametrize(
+    ("last_index", "last_term", "granted"),
+    [
+        (9, 2, False),  # longer, of an older term
+        (1, 3, False),  # of the same term, shorter
+        (2, 3, True),
+        (1, 4, True),  # shorter, of a later term
+    ],
+)
 def test_a_vote_goes_by_the_last_term_and_then_by_length(
-        pre: bool, last_index: int, last_term: int, granted: bool) -> None:
+    pre: bool, last_index: int, last_term: int, granted: bool
+) -> None:
     replica, _ = copy(4, 1, 3)
     made = replica.handle(5000.0, Received("b/1", Ask("g", 5, last_index, last_term, pre)))
     votes = sent(made + stored(replica, 5000.0, made), Vote)
@@ -212,7 +221,8 @@
     assert replica.role is Role.CANDIDATE
 
 
-# Answers to a leader ---------------------------------------------------------------------------------------------------
+# Answers to a leader
+# ---------------------------------------------------------------------------------------------------
 
 
 def test_a_leader_believes_only_answers_that_can_be_meant_for_it() -> None:
@@ -221,9 +231,11 @@
     assert match(replica, "b/1") == 3
     replica.handle(2002.0, Received("b/1", Appended("g", 5, True, 2, 1)))
     assert match(replica, "b/1") == 3  # a late one takes nothing back
-    for wrong in (Appended("g", 4, True, 4, 1),  # of a term before
-                  Appended("g", 5, True, 9, 1),  # beyond the log
-                  Appended("g", 5, True, 4, 99)):  # to a round that never began
+    for wrong in (
+        Appended("g", 4, True, 4, 1),  # of a term before
+        Appended("g", 5, True, 9, 1),  # beyond the log
+        Appended("g", 5, True, 4, 99),
+    ):  # to a round that never began
         replica.handle(2003.0, Received("c/1", wrong))
         assert match(replica, "c/1") == 0 and replica.commit == 0 and not machine.rows
     replica.handle(2004.0, Received("c/1", Appended("g", 5, True, 4, 1)))
@@ -261,7 +273,8 @@
     assert sent(made, Lead) == [Lead("g", 5)]
 
 
-# What a follower takes ------------------------------------------------------------------------------------------------
+# What a follower takes
+# ------------------------------------------------------------------------------------------------
 
 
 def test_a_follower_commits_only_what_matches_the_leaders_log() -> None:
@@ -271,7 +284,8 @@
 
 
 def test_what_was_cut_off_does_not_count_as_stored() -> None:
-    """Entries 2 and 3 were stored, and are cut; the new 2 and 3 are acknowledged when they are stored, not before."""
+    """Entries 2 and 3 were stored, and are cut; the new 2 and 3 are acknowledged when they are stored, not
+    before."""
     replica, _ = copy(4, 1, 2, 2)
     made = replica.handle(10.0, Received("b/1", Append("g", 5, 1, 1, (entry(2, 5), entry(3, 5)), 0, 1)))
     assert [one.index for one in sent(made, Appended)] == [1]
@@ -289,8 +303,9 @@
 
 
 def pieces(index: int, index_term: int, body: bytes, config: Config = THREE) -> Callable[..., Piece]:
-    return lambda term, offset, size: Piece("g", term, index, index_term, config, offset, len(body),
-                                            body[offset:offset + size], 1)
+    return lambda term, offset, size: Piece(
+        "g", term, index, index_term, config, offset, len(body), body[offset : offset + size], 1
+    )
 
 
 def test_a_snapshot_takes_a_tail_away_that_does_not_go_on_from_it() -> None:
@@ -303,11 +318,14 @@
     assert 3 in [one.index for one in sent(stored(replica, 11.0, made), Appended)]
 
 
-@pytest.mark.parametrize("other", [
-    lambda: Received("c/1", pieces(3, 5, b"zzzzzzzzzz")(6, 0, 3)),  # another leader's, as long
-    lambda: Received("b/1", pieces(3, 5, b"zzzzzzzzzz")(6, 0, 3)),  # of the same member in a later term
-    lambda: Received("b/1", pieces(4, 5, b"zzzzzzzzzz")(5, 0, 3)),  # a later one of the same leader
-])
+@pytest.mark.parametrize(
+    "other",
+    [
+        lambda: Received("c/1", pieces(3, 5, b"zzzzzzzzzz")(6, 0, 3)),  # another leader's, as long
+        lambda: Received("b/1", pieces(3, 5, b"zzzzzzzzzz")(6, 0, 3)),  # of the same member in a later term
+        lambda: Received("b/1", pieces(4, 5, b"zzzzzzzzzz")(5, 0, 3)),  # a later one of the same leader
+    ],
+)
 def test_pieces_of_two_snapshots_are_not_put_together(other: Callable[[], Received]) -> None:
     replica, _ = copy(4, 1)
     first = pieces(3, 5, b"yyyyyyyyyy")
@@ -316,14 +334,28 @@
 
 
 def test_a_snapshot_bears_the_members_and_the_term_of_its_last_entry() -> None:
-    """The entry of a change lies in the log behind it, and is not committed; the present term is a later one."""
+    """The entry of a change lies in the log behind it, and is not committed; the present term is a later
+    one."""
     count = TIMINGS.snapshot_entries
     terms = [1] * count
-    saved = Saved(4, "", Snapshot(0, 0, THREE, EMPTY), (*(entry(at, one) for at, one in enumerate(terms, 1)), entry(
-        count + 1, 2, encode_config(Config(THREE.voters, ("d/1",))), CONFIG)))
+    saved = Saved(
+        4,
+        "",
+        Snapshot(0, 0, THREE, EMPTY),
+        (
+            *(entry(at, one) for at, one in enumerate(terms, 1)),
+            entry(count + 1, 2, encode_config(Config(THREE.voters, ("d/1",))), CONFIG),
+        ),
+    )
     replica, _ = alone(saved)
     made = replica.handle(10.0, Received("b/1", Append("g", 5, count + 1, 2, (), count, 1)))
-    shots = [record for one in made if isinstance(one, Store) for record in one.records if isinstance(record, Snapshot)]
+    shots = [
+        record
+        for one in made
+        if isinstance(one, Store)
+        for record in one.records
+        if isinstance(record, Snapshot)
+    ]
     assert [(shot.index, shot.term, shot.config) for shot in shots] == [(count, 1, THREE)]
 
 
@@ -349,7 +381,8 @@
     assert len(follower._held) == MOST_HELD
 
 
-# Who lives, how a fleet is formed, where its copies are ----------------------------------------------------------------
+# Who lives, how a fleet is formed, where its copies are
+# ----------------------------------------------------------------
 
 
 def watcher() -> Membership:
@@ -388,10 +421,14 @@
 
 def test_a_member_of_which_the_record_is_not_stored_yet_says_neither_none_nor_that() -> None:
     node = Founding(YARD, Saved(), Random(1), 0.0)
-    assert [type(one) for one in node.handle(1.0, Received("a/1", Found(msgspec.msgpack.encode(FOUNDED))))] == [Store]
+    assert [
+        type(one) for one in node.handle(1.0, Received("a/1", Found(msgspec.msgpack.encode(FOUNDED))))
+    ] == [Store]
     assert node.handle(2.0, Received("c/1", WhoAreYou("x"))) == [] and node.record is None
     node.handle(3.0, Stored(FOUNDING, 1))
-    assert node.handle(4.0, Received("c/1", WhoAreYou("x"))) == [Send("c/1", IAm("x", msgspec.msgpack.encode(FOUNDED)))]
+    assert node.handle(4.0, Received("c/1", WhoAreYou("x"))) == [
+        Send("c/1", IAm("x", msgspec.msgpack.encode(FOUNDED)))
+    ]
     other = msgspec.msgpack.encode(msgspec.structs.replace(FOUNDED, founding="02"))
     said = node.handle(5.0, Received("a/2", Found(other)))
     assert [one.fields["error"] for one in said if isinstance(one, Say)] == ["another-fleet"]
@@ -406,7 +443,9 @@
 
 def placing(halls: str = "aaaaa", groups: int = 2) -> Placing:
     made = Placing(Timings(), Invariants())
-    made.begin(Record("yard", "01", "m0/1", tuple((f"m{at}/1", hall) for at, hall in enumerate(halls)), groups, 3))
+    made.begin(
+        Record("yard", "01", "m0/1", tuple((f"m{at}/1", hall) for at, hall in enumerate(halls)), groups, 3)
+    )
     return made
 
 
@@ -426,8 +465,11 @@
     acts = []
     while (change := made.wanted("g0", config, (), alive)) is not None:
         acts.append(change.act)
-        config = {"learn": Config(config.voters, (new,)), "promote": Config((*config.voters, new)),
-                  "remove": Config(tuple(who for who in config.voters if who != lost))}[change.act]
+        config = {
+            "learn": Config(config.voters, (new,)),
+            "promote": Config((*config.voters, new)),
+            "remove": Config(tuple(who for who in config.voters if who != lost)),
+        }[change.act]
     assert acts == ["learn", "promote", "remove"]
     gone = tuple(who for who in made.groups["g0"].voters if who != lost)
     made.apply(0.0, Moved(id="2", group="g0", voters=gone, number=1))
@@ -447,8 +489,19 @@
 
 def test_copies_that_lag_are_not_whole_and_a_move_is_timed_by_what_its_leader_saw() -> None:
     made = placing()
-    view = View(100_000.0, 0.0, "m0/1", 99_000.0, Timings(), frozenset(who for who, _ in made.members.values()), {},
-                {}, {}, {}, {})
+    view = View(
+        100_000.0,
+        0.0,
+        "m0/1",
+        99_000.0,
+        Timings(),
+        frozenset(who for who, _ in made.members.values()),
+        {},
+        {},
+        {},
+        {},
+        {},
+    )
     assert made.missing(view) == [] and not made._long(view, 0.0)
     voters = made.groups["g1"].voters
     assert made.missing(replace(view, behind={"g1": voters[:1]}))
@@ -457,7 +510,8 @@
     assert [copies_for(most, members) for most, members in ((5, 4), (4, 9), (3, 2), (3, 1))] == [3, 3, 2, 1]
 
 
-# What a group's log is applied to --------------------------------------------------------------------------------------
+# What a group's log is applied to
+# --------------------------------------------------------------------------------------
 
 
 def state() -> GroupState:
@@ -468,7 +522,9 @@
     return made.apply(0.0, index, encode(at_ms, promises.Promise(id=id_, name=name, value=value)))
 
 
-def test_ids_answers_and_time_outlive_a_snapshot_and_the_oldest_id_goes_first(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_ids_answers_and_time_outlive_a_snapshot_and_the_oldest_id_goes_first(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     monkeypatch.setattr(fleet_state, "MOST_IDS", 3)
     made, other = state(), state()
     for number in range(4):
@@ -486,8 +542,16 @@
 
 def test_a_lease_is_timed_from_where_its_entry_was_seen() -> None:
     made = state()
-    opened = contracts.Open(id="o", tenant="t", contract="c", version=1, rate=9.0, burst=0.0, times=((0.0, 1e9),),
-                            holds_from_ms=0.0)
+    opened = contracts.Open(
+        id="o",
+        tenant="t",
+        contract="c",
+        version=1,
+        rate=9.0,
+        burst=0.0,
+        times=((0.0, 1e9),),
+        holds_from_ms=0.0,
+    )
     asked = Lease(id="1", tenant="t", contract="c", holder="a/1", number=0, keep=0.0, wish=9.0, room=0.0)
     for index, command in enumerate((opened, asked), 1):
         made.apply(700.0, index, encode(1.0, command))
@@ -520,7 +584,9 @@
     again.load(msgspec.msgpack.decode(msgspec.msgpack.encode(made.dump())))
     made = again
     assert made.look(owed.OwedRead(id="r", tenant="t")).value == ["2"]  # what is being told is not offered
-    assert isinstance(claim("1", "c/1").error, WrongState) and isinstance(told("1", "c/1", True).error, NotThere)
+    assert isinstance(claim("1", "c/1").error, WrongState) and isinstance(
+        told("1", "c/1", True).error, NotThere
+    )
     assert told("1", "b/1", True).value and made.unknown == 0.0
     assert claim("2", "b/1").value and told("2", "b/1", False).value and made.unknown == 3.0
     assert owe("4").error is None and owe("5", owed.LATE_MS + 1.0).error is None
@@ -544,7 +610,8 @@
     assert whole.free == 10.0 * MOST_GAP_MS / 1000.0
 
 
-# What a node tells of its calls, and does for its groups ---------------------------------------------------------------
+# What a node tells of its calls, and does for its groups
+# ---------------------------------------------------------------
 
 
 def node(names: str = "abc", strict: bool = True, draw: int = 1) -> Node:
@@ -561,8 +628,13 @@
 
 def forwards(effects: list[Any]) -> list[Forward]:
     """Of `PUT`; a node has calls of its own as well."""
-    return [one.message for one in effects if isinstance(one, Send) and isinstance(one.message, Forward)
-            and isinstance(decode(one.message.body)[1], promises.Promise)]
+    return [
+        one.message
+        for one in effects
+        if isinstance(one, Send)
+        and isinstance(one.message, Forward)
+        and isinstance(decode(one.message.body)[1], promises.Promise)
+    ]
 
 
 PUT = Call("t", promises.Promise(id="1", name="n", value="v"))
@@ -570,19 +642,23 @@
 LATER = UnknownOutcome("g0", "the leader changed before it was committed")
 
 
-@pytest.mark.parametrize(("answers", "end"), [
-    ([], UnknownOutcome),
-    ([(1, NoLeader("g0", "none")), (2, NoLeader("g0", "none"))], NoLeader),  # no try may have been taken
-    ([(2, NoLeader("g0", "none"))], UnknownOutcome),  # of the first nothing is known
-    ([(1, LATER), (2, NoLeader("g0", "none"))], UnknownOutcome),
-    ([(1, ROOM)], NoRoom),
-    ([(2, ROOM)], UnknownOutcome),  # the first may be taken yet
-    ([(2, ROOM), (1, ROOM)], NoRoom),
-    ([(2, Applied("v0"))], str),  # taken is taken
-    ([(1, LATER), (2, Applied("v0"))], str),  # it is made again
-])
+@pytest.mark.parametrize(
+    ("answers", "end"),
+    [
+        ([], UnknownOutcome),
+        ([(1, NoLeader("g0", "none")), (2, NoLeader("g0", "none"))], NoLeader),  # no try may have been taken
+        ([(2, NoLeader("g0", "none"))], UnknownOutcome),  # of the first nothing is known
+        ([(1, LATER), (2, NoLeader("g0", "none"))], UnknownOutcome),
+        ([(1, ROOM)], NoRoom),
+        ([(2, ROOM)], UnknownOutcome),  # the first may be taken yet
+        ([(2, ROOM), (1, ROOM)], NoRoom),
+        ([(2, Applied("v0"))], str),  # taken is taken
+        ([(1, LATER), (2, Applied("v0"))], str),  # it is made again
+    ],
+)
 def test_a_call_is_told_as_refused_only_where_no_try_of_it_can_be_taken(
-        answers: list[tuple[int, Any]], end: type[Any]) -> None:
+    answers: list[tuple[int, Any]], end: type[Any]
+) -> None:
     made = node()
     tries = forwards(made.handle(1.0, 1e12, PUT))
     now, got, waiting = 1.0, list[Any](), dict(answers)
@@ -594,21 +670,28 @@
         for number, answer in list(waiting.items()):
             if len(tries) >= number and (number == 1 or len(tries) >= 2) and next(iter(waiting)) == number:
                 body = [answer, None, ""] if isinstance(answer, Applied) else [None, answer, ""]
-                effects = made.handle(now, 1e12, Received("b/1", Reply(tries[number - 1].token, msgspec.msgpack.encode(
-                    body))))
+                effects = made.handle(
+                    now, 1e12, Received("b/1", Reply(tries[number - 1].token, msgspec.msgpack.encode(body)))
+                )
                 tries += forwards(effects)
                 got += told(effects)
                 del waiting[number]
         if not waiting and len(tries) > 2:  # all further ones are answered that nobody leads
-            effects = made.handle(now, 1e12, Received("b/1", Reply(tries[-1].token, msgspec.msgpack.encode(
-                [None, NoLeader("g0", "none"), ""]))))
+            effects = made.handle(
+                now,
+                1e12,
+                Received(
+                    "b/1", Reply(tries[-1].token, msgspec.msgpack.encode([None, NoLeader("g0", "none"), ""]))
+                ),
+            )
             got += told(effects)
     result = got[0].error or got[0].value if isinstance(got[0], Applied) else got[0]
     assert len(got) == 1 and type(result) is end and now <= 2100.0
 
 
 def test_an_answer_to_an_earlier_process_is_none_to_this_one_and_calls_are_bounded(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     monkeypatch.setattr(fleet_node, "MOST_CALLS", 1)
     before, made = node(), node(draw=2)
     old = forwards(before.handle(1.0, 1e12, PUT))[0]
@@ -646,7 +729,8 @@
 
 
 def test_a_rule_broken_by_what_is_applied_ends_that_groups_promises_in_service(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     made = alone_and_leading(False)
     at = group_of("p:n", 2)
 
@@ -673,8 +757,14 @@
 
 def test_members_that_are_not_committed_are_not_reported_and_a_lag_that_lasts_is() -> None:
     made = node()
-    stub: Any = SimpleNamespace(commit=1, config_index=2, config=Config(("a/1",)), behind=lambda: (),
-                                lead_since=-1e9, lagging=lambda: ("b/1",))
+    stub: Any = SimpleNamespace(
+        commit=1,
+        config_index=2,
+        config=Config(("a/1",)),
+        behind=lambda: (),
+        lead_since=-1e9,
+        lagging=lambda: ("b/1",),
+    )
     made._places.groups["g0"] = Held(("a/1", "b/1"))
     assert made._members(1.0, 1e12, "g0", stub) == []
     assert made._late(1.0, "g0", stub) == () and made._late(LATE_MS + 2.0, "g0", stub) == ("b/1",)
@@ -692,7 +782,9 @@
         assert not self.findings
 
     def leads(self, group: str) -> Machine:
-        return next(one for one in self.machines.values() if one.node is not None and one.node.replicas[group].leading)
+        return next(
+            one for one in self.machines.values() if one.node is not None and one.node.replicas[group].leading
+        )
 
     def go(self, ms: float) -> None:
         self.calendar.run(self.calendar.now + ms)
@@ -702,7 +794,9 @@
     world, got = Yard(), list[Any]()
     leader = world.leads(group_of("p:n", 8))
     rest = [name for name in world.machines if name != leader.name]
-    world.network.cut([(one, other) for name in rest for one, other in ((leader.name, name), (name, leader.name))])
+    world.network.cut(
+        [(one, other) for name in rest for one, other in ((leader.name, name), (name, leader.name))]
+    )
     world.call(leader.name, promises.PromiseRead(id="r", name="n"), got.append)
     world.go(500.0)
     assert got == []
@@ -735,21 +829,25 @@
     assert made is not None and "promised" in made._view(1.0, 1e12, made.replicas[FLEET]).load
 
 
-# The store and the links -----------------------------------------------------------------------------------------------
-
-
-@pytest.mark.parametrize("spoil", [
-    "UPDATE part SET term = term + 1 WHERE grp = 'g'",
-    "UPDATE part SET vote = 'z/1' WHERE grp = 'g'",
-    "DELETE FROM part WHERE grp = 'h'",
-    "DELETE FROM shot WHERE grp = 'h'",
-    "UPDATE shot SET body = x'00' WHERE grp = 'g'",
-    "UPDATE entry SET term = term + 1 WHERE grp = 'g' AND idx = 4",
-    "DELETE FROM entry WHERE grp = 'g' AND idx = 5",
-    "UPDATE store SET incarnation = 'x'",
-    "UPDATE entry SET body = (SELECT body FROM old), term = (SELECT term FROM old), sum = (SELECT sum FROM old) "
-    "WHERE grp = 'g' AND idx = 4",  # as a page that was never written over: good in itself
-])
+# The store and the links
+# -----------------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(
+    "spoil",
+    [
+        "UPDATE part SET term = term + 1 WHERE grp = 'g'",
+        "UPDATE part SET vote = 'z/1' WHERE grp = 'g'",
+        "DELETE FROM part WHERE grp = 'h'",
+        "DELETE FROM shot WHERE grp = 'h'",
+        "UPDATE shot SET body = x'00' WHERE grp = 'g'",
+        "UPDATE entry SET term = term + 1 WHERE grp = 'g' AND idx = 4",
+        "DELETE FROM entry WHERE grp = 'g' AND idx = 5",
+        "UPDATE store SET incarnation = 'x'",
+        "UPDATE entry SET body = (SELECT body FROM old), term = (SELECT term FROM old), sum = (SELECT sum FROM old) "
+        "WHERE grp = 'g' AND idx = 4",  # as a page that was never written over: good in itself
+    ],
+)
 def test_a_row_that_is_not_as_it_was_written_makes_a_newcomer(tmp_path: Path, spoil: str) -> None:
     disk = opened(tmp_path)
     store_put(disk, "g", HardState(3, "b/1"), entries(1, 5), Snapshot(2, 1, THREE, b"x"))
@@ -774,7 +872,8 @@
 
 @pytest.mark.parametrize(("broken", "kept"), [(3, 0), (4, 4)])
 def test_a_break_before_the_last_commit_is_no_tear(tmp_path: Path, broken: int, kept: int) -> None:
-    """Without the count, which may be old after the machine's death: of five commits, the one at which it breaks."""
+    """Without the count, which may be old after the machine's death: of five commits, the one at which it
+    breaks."""
     disk = opened(tmp_path / "live")
     told, ends = (tmp_path / "live" / TOLD).read_bytes(), [0]
     for number in range(1, 6):
@@ -815,7 +914,8 @@
     links_play(test)
 
 
-# Rolls, as the log holds them ------------------------------------------------------------------------------------------
+# Rolls, as the log holds them
+# ------------------------------------------------------------------------------------------
 
 WELL = Facts(0, 0, 0, -1.0, 0.0)
 
@@ -824,8 +924,11 @@
     """A roll over three gateways, planned; it has changed twice."""
     made = Rolls(Invariants())
     given = {"id": "1", "roll": "r", "warm_ms": 50.0, **ask}
-    for command in (RollAsk(**given), RollTurn(id="2", roll="r", stamp=0, turn="SEEN"),
-                    RollTurn(id="3", roll="r", stamp=1, turn="PLANNED", order=("a", "b", "c"), members=3)):
+    for command in (
+        RollAsk(**given),
+        RollTurn(id="2", roll="r", stamp=0, turn="SEEN"),
+        RollTurn(id="3", roll="r", stamp=1, turn="PLANNED", order=("a", "b", "c"), members=3),
+    ):
         assert made.apply(0.0, command).error is None
     return made
 
@@ -837,8 +940,12 @@
 
 def step(made: Rolls, name: str, what: str, round_: int = -1, facts: Facts | None = WELL) -> Applied:
     at = made.rolls["r"].gateways[name].round if round_ < 0 else round_
-    return made.apply(2.0, RollStep(id="s", roll="r", gateway=name, round=at, step=what, facts=facts,
-                                     stamp=made.rolls["r"].changes))
+    return made.apply(
+        2.0,
+        RollStep(
+            id="s", roll="r", gateway=name, round=at, step=what, facts=facts, stamp=made.rolls["r"].changes
+        ),
+    )
 
 
 def report(made: Rolls, name: str, what: str, process: str = "p1", round_: int = -1) -> Applied:
@@ -870,8 +977,13 @@
     report(made, "a", "back")
     assert stands(made) == "emptying waiting waiting"  # the same process is no later one
     report(made, "a", "empty")
-    for wrong in (Facts(1, 0, 0, -1.0, 0.0), Facts(0, -1, 0, -1.0, 0.0), Facts(0, 0, 1, -1.0, 0.0),
-                  Facts(0, 0, 0, 1.0, 2.0), None):
+    for wrong in (
+        Facts(1, 0, 0, -1.0, 0.0),
+        Facts(0, -1, 0, -1.0, 0.0),
+        Facts(0, 0, 1, -1.0, 0.0),
+        Facts(0, 0, 0, 1.0, 2.0),
+        None,
+    ):
         with pytest.raises(Broken):
             step(made, "a", "ACT", facts=wrong)
     assert step(made, "a", "HOLD").error is not None and step(made, "a", "LOST").error is not None
@@ -891,9 +1003,14 @@
 
 def counted(wave: tuple[str, ...] = ("a",), **more: Any) -> Facts:
     made = rolling(at_once=3)
-    given: dict[str, Any] = {"alive": frozenset({"a/1", "b/1", "c/1", "d/1"}),
-                             "halls": {"a": "x", "b": "y", "c": "y", "d": "y"}, "load": {}, "behind": {},
-                             "groups": {"g0": ("b/1", "c/1", "d/1")}, **more}
+    given: dict[str, Any] = {
+        "alive": frozenset({"a/1", "b/1", "c/1", "d/1"}),
+        "halls": {"a": "x", "b": "y", "c": "y", "d": "y"},
+        "load": {},
+        "behind": {},
+        "groups": {"g0": ("b/1", "c/1", "d/1")},
+        **more,
+    }
     view = View(now=0.0, wall=0.0, me="d/1", lead_since=0.0, timings=Timings(), dead_for={}, **given)
     return made.count(view, made.rolls["r"], wave)
 
@@ -904,13 +1021,20 @@
     assert counted(("b", "c")).spare == -1
     assert counted(("b",), alive=frozenset({"a/1", "b/1", "d/1"})).missing == 1
     assert counted(("b",), behind={"g0": ("c/1",)}).missing == 1
-    assert counted(("b",), load={"capacity": 100.0, "demand": 20.0, "promised": 5.0}) == Facts(0, 0, 0, 75.0, 25.0)
+    assert counted(("b",), load={"capacity": 100.0, "demand": 20.0, "promised": 5.0}) == Facts(
+        0, 0, 0, 75.0, 25.0
+    )
 
 
 def looked(made: Rolls, wall: float, **more: Any) -> list[Any]:
-    given: dict[str, Any] = {"alive": frozenset({"a/1", "b/1", "c/1", "d/1"}), "behind": {},
-                             "halls": dict.fromkeys("abcd", "x"), "groups": {"g0": ("b/1", "c/1", "d/1")},
-                             "dead_for": {}, **more}
+    given: dict[str, Any] = {
+        "alive": frozenset({"a/1", "b/1", "c/1", "d/1"}),
+        "behind": {},
+        "halls": dict.fromkeys("abcd", "x"),
+        "groups": {"g0": ("b/1", "c/1", "d/1")},
+        "dead_for": {},
+        **more,
+    }
     return made.work(View(now=wall, wall=wall, me="d/1", lead_since=0.0, timings=Timings(), load={}, **given))
 
 
@@ -938,7 +1062,8 @@
     assert wave(made, "b").error is None
     alive = frozenset({"a/1", "c/1", "d/1"})
     assert [one.why for one in looked(made, 2.0, alive=alive, dead_for={"b/1": 0.0})] == [
-        "b is dead while granting"]  # at once; who left in order is not dead
+        "b is dead while granting"
+    ]  # at once; who left in order is not dead
     assert looked(made, 2.0, alive=alive) == []
 
 
@@ -946,8 +1071,21 @@
     def read(process: str, at: float) -> Rolled:
         rolled = Rolled("a", process)
         command = rolled.poll(at, 0.0)[0]
-        rolled.answered(at + 10.0, command, Applied({"roll": "r", "stand": "EMPTYING", "round": 3, "told": "",
-                                                     "process": "p1", "read_ms": 100.0, "grow": 1.0}))
+        rolled.answered(
+            at + 10.0,
+            command,
+            Applied(
+                {
+                    "roll": "r",
+                    "stand": "EMPTYING",
+                    "round": 3,
+                    "told": "",
+                    "process": "p1",
+                    "read_ms": 100.0,
+                    "grow": 1.0,
+                }
+            ),
+        )
         return rolled
 
     assert read("p1", 0.0).duties(FRESH_MS + 1.0) == []  # what it knows may be over
@@ -955,7 +1093,8 @@
     assert read("p1", 0.0).lead_nothing and not read("p2", 0.0).lead_nothing
 
 
-# Connections -----------------------------------------------------------------------------------------------------------
+# Connections
+# -----------------------------------------------------------------------------------------------------------
 
 
 def limited(most: int = 10) -> Connections:
@@ -1023,12 +1162,15 @@
     assert made.empty and part.servers["s"].parts.granted() == 0.0
 
 
-@pytest.mark.parametrize(("row", "may", "over"), [
-    (["s", OVER, 0, 0, 0], False, 2),  # the lease is over: nothing may be open
-    (["s", 5, 6, 2, 0], False, 0),  # above its aim it opens no more
-    (["s", 5, 6, 1, 0], False, 1),
-    (["s", 5, 6, 3, 0], True, 0),
-])
+@pytest.mark.parametrize(
+    ("row", "may", "over"),
+    [
+        (["s", OVER, 0, 0, 0], False, 2),  # the lease is over: nothing may be open
+        (["s", 5, 6, 2, 0], False, 0),  # above its aim it opens no more
+        (["s", 5, 6, 1, 0], False, 1),
+        (["s", 5, 6, 3, 0], True, 0),
+    ],
+)
 def test_a_gateway_goes_by_its_aim_and_by_the_end_of_its_lease(row: list[Any], may: bool, over: int) -> None:
     made, part = keeper(), limited()
     leased(made, part)
@@ -1042,13 +1184,18 @@
 def test_a_process_vouches_for_the_one_before_alone_and_not_at_once() -> None:
     part = limited()
     leased(keeper(), part)
-    for sole, at, ends in ((True, RESET_MS - 1.0, False), (True, RESET_MS, True), (False, 2.0 * RESET_MS, False)):
+    for sole, at, ends in (
+        (True, RESET_MS - 1.0, False),
+        (True, RESET_MS, True),
+        (False, 2.0 * RESET_MS, False),
+    ):
         made = keeper(0.0, 2, sole)
         leased(made, again(part), 1.0, 2.0)
         made.want("s", 0)
         assert any(isinstance(one, ConnEnd) for one in made.poll(at, 0.0)) is ends
-    elsewhere = ConnEnd(id="e", holder="a/1#boot.1", bucket=bucket("s"), ends=(("s", 1),), proof="reset",
-                        by="a/1#reboot.2")
+    elsewhere = ConnEnd(
+        id="e", holder="a/1#boot.1", bucket=bucket("s"), ends=(("s", 1),), proof="reset", by="a/1#reboot.2"
+    )
     assert part.apply(0.0, elsewhere).error is not None and part.servers["s"].parts.granted() > 0.0
 
 
@@ -1074,7 +1221,8 @@
     assert part.servers["s"].parts.granted() == granted  # it is known until all of it has come back
 
 
-# Contracts -------------------------------------------------------------------------------------------------------------
+# Contracts
+# -------------------------------------------------------------------------------------------------------------
 
 TERMS: dict[str, Any] = {"tenant": "t", "customers": [1], "rate": 50.0, "burst": 10.0}
 SPAN = (20_000.0, 60_000.0)
@@ -1084,8 +1232,10 @@
     """60 units a second over SPAN, as version 1."""
     made = Contracts(Timings(), Invariants())
     asked = msgspec.convert({**TERMS, "rate": 60.0, "windows": [Window(*SPAN)]}, Terms)
-    for command in (Capacity(id="1", units=units, reserve=0.0, floor=0.0),
-                    contracts.Propose(id="2", contract="c", terms=asked)):
+    for command in (
+        Capacity(id="1", units=units, reserve=0.0, floor=0.0),
+        contracts.Propose(id="2", contract="c", terms=asked),
+    ):
         assert made.apply(0.0, command).error is None
     return made
 
@@ -1094,7 +1244,10 @@
     made = admitted()
     held = made.held["c"]
     changed = msgspec.structs.replace(held.newest.terms, rate=30.0)
-    assert made.apply(1.0, contracts.Change(id="3", contract="c", terms=changed, holds_from_ms=30_000.0)).error is None
+    assert (
+        made.apply(1.0, contracts.Change(id="3", contract="c", terms=changed, holds_from_ms=30_000.0)).error
+        is None
+    )
     made.apply(2.0, contracts.Told(id="4", contract="c", version=1))
     assert (held.told, [one.number for one in held.versions]) == (1, [1, 2])
     assert made.promised(0.0, 1e6) == 60.0  # the dearer of the two counts
@@ -1115,7 +1268,9 @@
     assert made.apply(1.0, Capacity(id="3", units=30.0, reserve=0.0, floor=5.0)).error is None
     other = Contracts(Timings(), Invariants())
     other.load(msgspec.msgpack.decode(msgspec.msgpack.encode(made.dump())))
-    assert other.apply(2.0, contracts.Told(id="4", contract="c", version=1)).error is None  # and no rule is broken
+    assert (
+        other.apply(2.0, contracts.Told(id="4", contract="c", version=1)).error is None
+    )  # and no rule is broken
     assert other.available() == made.available() == 25.0
 
 
@@ -1123,14 +1278,38 @@
     """Versions by number, rate, and the moment from which they hold."""
     made = Floors(Timings(), Invariants())
     for number, rate, holds_from in versions:
-        made.apply(at_ms, contracts.Open(id=f"o{number}", tenant="t", contract="c", version=number, rate=rate,
-                                         burst=10.0, times=(SPAN,), holds_from_ms=holds_from))
+        made.apply(
+            at_ms,
+            contracts.Open(
+                id=f"o{number}",
+                tenant="t",
+                contract="c",
+                version=number,
+                rate=rate,
+                burst=10.0,
+                times=(SPAN,),
+                holds_from_ms=holds_from,
+            ),
+        )
     return made
 
 
 def lease(made: Floors, at_ms: float, order: int, number: int, wish: float, keep: float = 0.0) -> Any:
-    result = made.apply(at_ms, Lease(id=f"l{order}", tenant="t", contract="c", holder="a/1", number=number, keep=keep,
-                                     wish=wish, room=0.0, process="p", order=order))
+    result = made.apply(
+        at_ms,
+        Lease(
+            id=f"l{order}",
+            tenant="t",
+            contract="c",
+            holder="a/1",
+            number=number,
+            keep=keep,
+            wish=wish,
+            room=0.0,
+            process="p",
+            order=order,
+        ),
+    )
     assert result.error is None, result.error
     return result.value
 
@@ -1146,8 +1325,12 @@
     assert made.held["c"].version == 1 and coming is not None and coming.version == 3
     made = opened_floors((2, 60.0, 0.0), (1, 90.0, 0.0))
     assert (made.held["c"].version, made.held["c"].rate) == (2, 60.0)
-    made.apply(1.0, contracts.Open(id="x", tenant="t", contract="d", version=4, rate=1.0, burst=0.0, times=(SPAN,),
-                                   holds_from_ms=0.0))
+    made.apply(
+        1.0,
+        contracts.Open(
+            id="x", tenant="t", contract="d", version=4, rate=1.0, burst=0.0, times=(SPAN,), holds_from_ms=0.0
+        ),
+    )
     assert list(made.held) == ["c", "d"]
 
 
@@ -1166,11 +1349,24 @@
 
 
 @pytest.mark.parametrize("rate", [30.0, 90.0])
-def test_a_version_is_told_when_no_lease_of_the_one_before_is_left_behind_a_snapshot_as_well(rate: float) -> None:
+def test_a_version_is_told_when_no_lease_of_the_one_before_is_left_behind_a_snapshot_as_well(
+    rate: float,
+) -> None:
     made = opened_floors((1, 60.0, 0.0))
     granted = lease(made, 20_000.0, 1, 0, 60.0)
-    made.apply(20_001.0, contracts.Open(id="o2", tenant="t", contract="c", version=2, rate=rate, burst=10.0,
-                                        times=(SPAN,), holds_from_ms=25_000.0))
+    made.apply(
+        20_001.0,
+        contracts.Open(
+            id="o2",
+            tenant="t",
+            contract="c",
+            version=2,
+            rate=rate,
+            burst=10.0,
+            times=(SPAN,),
+            holds_from_ms=25_000.0,
+        ),
+    )
     renewed = lease(made, 20_002.0, 2, granted["number"], 60.0, 60.0)
     assert (renewed["until_ms"], renewed["then"]) == (25_000.0, min(rate / 60.0, 1.0))  # it shrinks by itself
     made.apply(25_000.0, contracts.TurnFloor(id="turn", tenant="t", contract="c"))
@@ -1178,7 +1374,9 @@
     other.load(msgspec.msgpack.decode(msgspec.msgpack.encode(made.dump())))
     for one in (made, other):
         assert one.held["c"].version == 2 and "Told" not in words(one, 10.0, 25_000.0)
-        assert lease(one, 25_001.0, 2, granted["number"], 60.0, 60.0) == renewed  # a repeat is answered as it was
+        assert (
+            lease(one, 25_001.0, 2, granted["number"], 60.0, 60.0) == renewed
+        )  # a repeat is answered as it was
         lease(one, 25_002.0, 3, renewed["number"], rate, min(rate, 60.0))
         assert "Told" in words(one, 20.0, 25_002.0)
 
@@ -1192,15 +1390,22 @@
     assert whole.free == free
 
 
-def test_two_changes_never_overlap_and_a_tenants_contracts_are_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_two_changes_never_overlap_and_a_tenants_contracts_are_bounded(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     monkeypatch.setattr(contracts, "MOST_OF_TENANT", 1)
     made = admitted()
     terms = made.held["c"].newest.terms
     first, second = (msgspec.structs.replace(terms, rate=rate) for rate in (30.0, 20.0))
-    assert made.apply(1.0, contracts.Change(id="3", contract="c", terms=first, holds_from_ms=30_000.0)).error is None
+    assert (
+        made.apply(1.0, contracts.Change(id="3", contract="c", terms=first, holds_from_ms=30_000.0)).error
+        is None
+    )
     again = made.apply(2.0, contracts.Change(id="4", contract="c", terms=second, holds_from_ms=30_000.0))
     assert isinstance(again.error, WrongState)
-    more = made.apply(3.0, contracts.Propose(id="5", contract="d", terms=msgspec.structs.replace(terms, rate=1.0)))
+    more = made.apply(
+        3.0, contracts.Propose(id="5", contract="d", terms=msgspec.structs.replace(terms, rate=1.0))
+    )
     assert isinstance(more.error, Crowded)
 
 
@@ -1211,9 +1416,11 @@
         self.floor, self.floors = Floor("a/1", "p", Timings(), hall), opened_floors((1, 60.0, 0.0))
         self.contracts = Contracts(Timings(), Invariants())
         asked = msgspec.convert({**TERMS, "rate": 60.0, "hall": of, "windows": [Window(*SPAN)]}, Terms)
-        for command in (Capacity(id="1", units=100.0, reserve=0.0, floor=0.0),
-                        contracts.Propose(id="2", contract="c", terms=asked),
-                        contracts.Told(id="3", contract="c", version=1)):
+        for command in (
+            Capacity(id="1", units=100.0, reserve=0.0, floor=0.0),
+            contracts.Propose(id="2", contract="c", terms=asked),
+            contracts.Told(id="3", contract="c", version=1),
+        ):
             assert self.contracts.apply(0.0, command).error is None
 
     def turn(self, now: float, lost: type[Command] | None = None) -> list[Command]:
@@ -1225,7 +1432,9 @@
             elif one.key():
                 self.floor.answered(now, one, self.floors.apply(now, one))
             else:
-                self.floor.answered(now, one, self.contracts.look(one) if one.reads else self.contracts.apply(now, one))
+                self.floor.answered(
+                    now, one, self.contracts.look(one) if one.reads else self.contracts.apply(now, one)
+                )
         return asked
 
     def ask(self, begin: float, end: float) -> int:
@@ -1243,7 +1452,10 @@
 
 
 def test_a_gateway_uses_nothing_outside_of_its_hall_its_window_and_its_lease() -> None:
-    assert Gate("x", "y").ask(SPAN[0], SPAN[0] + 500.0) == 0 and Gate("x", "x").ask(SPAN[0], SPAN[0] + 500.0) > 20
+    assert (
+        Gate("x", "y").ask(SPAN[0], SPAN[0] + 500.0) == 0
+        and Gate("x", "x").ask(SPAN[0], SPAN[0] + 500.0) > 20
+    )
     made = Gate()
     assert made.ask(SPAN[0] - 900.0, SPAN[0]) == 0
     assert made.ask(SPAN[0], SPAN[0] + 1000.0) > 80
@@ -1268,14 +1480,27 @@
 def test_what_nobody_knows_is_asked_again_and_what_is_over_is_over() -> None:
     made, begin = Gate(), SPAN[0] + 1000.0
     assert made.ask(begin, begin + 500.0) > 20
-    first = next(one for at in range(100) for one in made.turn(begin + 500.0 + 10.0 * at, Lease)
-                 if isinstance(one, Lease))
-    repeats = [one for at in range(20) for one in made.turn(begin + 700.0 + 50.0 * at, Lease) if isinstance(one, Lease)]
+    first = next(
+        one
+        for at in range(100)
+        for one in made.turn(begin + 500.0 + 10.0 * at, Lease)
+        if isinstance(one, Lease)
+    )
+    repeats = [
+        one
+        for at in range(20)
+        for one in made.turn(begin + 700.0 + 50.0 * at, Lease)
+        if isinstance(one, Lease)
+    ]
     assert repeats and all(one == first for one in repeats)
     made = Gate()
     assert made.ask(begin, begin + 500.0) > 20 and made.floor.held(begin + 500.0) > 0.0
-    last = next(one for at in range(20) for one in made.floor.poll(begin + 510.0 + 10.0 * at, begin + 510.0 + 10.0 * at)
-                if isinstance(one, Lease))
+    last = next(
+        one
+        for at in range(20)
+        for one in made.floor.poll(begin + 510.0 + 10.0 * at, begin + 510.0 + 10.0 * at)
+        if isinstance(one, Lease)
+    )
     made.floor.answered(begin + 720.0, last, Applied(error=LeaseOver("a/1", "it is over")))
     assert made.floor.held(begin + 720.0) == 0.0 and made.floor.take(begin + 720.0, 1, 0.5) is None
 
@@ -1296,16 +1521,27 @@
     reserved = made.floor.take(begin + 300.0, 1, 0.5)
     assert reserved is not None
     made.floor.failed(begin + 300.0, reserved, "load")
-    told = [one for at in range(400) for one in made.turn(begin + 300.0 + 10.0 * at) if isinstance(one, contracts.Short)]
+    told = [
+        one
+        for at in range(400)
+        for one in made.turn(begin + 300.0 + 10.0 * at)
+        if isinstance(one, contracts.Short)
+    ]
     assert [(one.cause, one.units) for one in told] == [("load", 0.5)]
 
 
-# What stands in the code -----------------------------------------------------------------------------------------------
+# What stands in the code
+# -----------------------------------------------------------------------------------------------
+
 
 def test_a_customer_of_any_length_ends_no_members_part() -> None:
     """Encoded within `Node.handle`, it ends this member's whole share in the fleet."""
-    given = {"do": "propose", "id": "1", "contract": "c",
-             "terms": {**TERMS, "customers": [1 << 64], "windows": [{"from_ms": 1, "to_ms": 2}]}}
+    given = {
+        "do": "propose",
+        "id": "1",
+        "contract": "c",
+        "terms": {**TERMS, "customers": [1 << 64], "windows": [{"from_ms": 1, "to_ms": 2}]},
+    }
     read = read_call(json.dumps(given).encode())
     assert isinstance(read, BadCall) or (isinstance(read, Command) and encode(0.0, read))
 
@@ -1322,7 +1558,9 @@
     for name in world.machines:
         world.start(name)
     world.calendar.run(4000.0)
-    leader = next(one for one in world.machines.values() if one.node is not None and one.node.replicas[FLEET].leading)
+    leader = next(
+        one for one in world.machines.values() if one.node is not None and one.node.replicas[FLEET].leading
+    )
     asker = next(one for one in world.machines.values() if one is not leader)
     begin = leader.clock.wall(leader.clock.now(world.calendar.now)) + 60_000.0
     terms = msgspec.convert({**TERMS, "windows": [Window(begin, begin + 1000.0)]}, Terms)
@@ -1340,23 +1578,35 @@
 
 def wide_promise(number: int, id_: str = "") -> promises.Promise:
     wide = "\U0001f600"
-    return promises.Promise(id=id_ or f"{number:0128}", name=wide * 120 + f"{number:08}",
-                            value=wide * promises.MOST_VALUE)
+    return promises.Promise(
+        id=id_ or f"{number:0128}", name=wide * 120 + f"{number:08}", value=wide * promises.MOST_VALUE
+    )
 
 
 def wide_batch(number: int) -> owed.Owe:
-    return owed.Owe(id=f"{number:0128}", tenant="t", by="a/00000000", lines=tuple(
-        owed.Line("\U0001f600" * 60 + f"{at:04}", 1.5, 60_000.0) for at in range(owed.MOST_LINES)))
+    return owed.Owe(
+        id=f"{number:0128}",
+        tenant="t",
+        by="a/00000000",
+        lines=tuple(
+            owed.Line("\U0001f600" * 60 + f"{at:04}", 1.5, 60_000.0) for at in range(owed.MOST_LINES)
+        ),
+    )
 
 
 def narrow_batch(number: int) -> owed.Owe:
-    return owed.Owe(id=f"{number:0128}", tenant="t", by="a/00000000", lines=tuple(
-        owed.Line(f"{at:064}", 1.5, 60_000.0) for at in range(owed.MOST_LINES)))
+    return owed.Owe(
+        id=f"{number:0128}",
+        tenant="t",
+        by="a/00000000",
+        lines=tuple(owed.Line(f"{at:064}", 1.5, 60_000.0) for at in range(owed.MOST_LINES)),
+    )
 
 
 def test_a_group_at_all_its_bounds_fits_into_a_snapshot() -> None:
-    """Really filled: names, batches, and answers, each of which is a long value that was there before.  As many ids as
-    are kept, of the longest names, come on top; an eighth is left for what hashing gives beside these."""
+    """Really filled: names, batches, and answers, each of which is a long value that was there before.  As
+    many ids as are kept, of the longest names, come on top; an eighth is left for what hashing gives
+    beside these."""
     made, index, refused = state(), 0, 0
     for make, most in ((wide_batch, 1024), (wide_promise, 8192)):
         for number in range(most + 1):
@@ -1372,8 +1622,10 @@
 
 
 def test_remembered_answers_are_bounded_in_bytes_and_all_copies_forget_the_same(
-        monkeypatch: pytest.MonkeyPatch) -> None:
-    """A snapshot taken of it, and one of a build that had no such bound, come to the same as the whole log."""
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A snapshot taken of it, and one of a build that had no such bound, come to the same as the whole
+    log."""
     made, taken, older, later = state(), state(), state(), state()
 
     def call(number: int) -> bytes:
@@ -1384,7 +1636,10 @@
             taken.restore(0.0, made.dump())
             later.restore(0.0, older.dump())
             assert later.dump() == made.dump()  # before the next call as well: it could be a repeat
-        for one, most in ((made, 4096), *(((older, 1 << 30),) if number < 20 else ((taken, 4096), (later, 4096)))):
+        for one, most in (
+            (made, 4096),
+            *(((older, 1 << 30),) if number < 20 else ((taken, 4096), (later, 4096))),
+        ):
             monkeypatch.setattr(fleet_state, "MOST_ANSWERS", most)
             one.apply(0.0, number + 1, call(number))
         monkeypatch.setattr(fleet_state, "MOST_ANSWERS", 4096)
@@ -1392,7 +1647,9 @@
     assert 4 < len(made._ids) < 14 and "p39" in made._ids and taken.dump() == later.dump() == made.dump()
 
 
-def test_a_batch_that_comes_again_when_its_answer_is_forgotten_keeps_its_claim(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_batch_that_comes_again_when_its_answer_is_forgotten_keeps_its_claim(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     """Else it could be claimed, and told to the counter, twice."""
     monkeypatch.setattr(fleet_state, "MOST_IDS", 1)
     made = state()
@@ -1405,8 +1662,8 @@
 
 
 def beats(replica: Replica, other: Replica, first: float, count: int) -> tuple[list[Effect], int]:
-    """So many beats of a leader to c/1, and all that the two say to each other at once, while b/1 is heard; gives what
-    the leader wants done, and how many appends that came to."""
+    """So many beats of a leader to c/1, and all that the two say to each other at once, while b/1 is
+    heard; gives what the leader wants done, and how many appends that came to."""
     out, appends = list[Effect](), 0
     for beat in range(count):
         now = first + 100.0 * beat
@@ -1425,7 +1682,9 @@
 
 
 def follower(*terms: int) -> Replica:
-    saved = Saved(5, "", Snapshot(0, 0, THREE, EMPTY), tuple(entry(at, one) for at, one in enumerate(terms, 1)))
+    saved = Saved(
+        5, "", Snapshot(0, 0, THREE, EMPTY), tuple(entry(at, one) for at, one in enumerate(terms, 1))
+    )
     return Replica("g", "c/1", saved, Kept(World(0, 0)), TIMINGS, Random(1), Invariants(), 0.0)
 
 
@@ -1434,8 +1693,8 @@
 
 
 def test_a_member_that_lost_what_it_acknowledged_is_told_of_once() -> None:
-    """A folder put back from a copy: no promise holds for that, but nobody else could say so.  It is asked once a beat,
-    and its refusals do not make appends of their own."""
+    """A folder put back from a copy: no promise holds for that, but nobody else could say so.  It is asked
+    once a beat, and its refusals do not make appends of their own."""
     replica, _ = leading(5, 1, 1, 1)
     replica.handle(2001.0, Received("c/1", Appended("g", 5, True, 4, 1)))
     out, appends = beats(replica, follower(1, 1), 2100.0, 9)
@@ -1446,13 +1705,18 @@
 
 
 def test_who_refuses_below_what_it_acknowledged_for_a_lost_batch_is_brought_up_to_date() -> None:
-    """It has a tail of the same old term, of another leader: what it refuses points before what matches.  No answer that
-    comes late is told as lost either."""
+    """It has a tail of the same old term, of another leader: what it refuses points before what matches.
+    No answer that comes late is told as lost either."""
     replica, _ = leading(5, 1, 1, 1)
     other = follower(1, 1, 1, 1, 1)
-    replica.handle(2001.0, Received("c/1", Appended("g", 5, True, 3, 1)))  # entry 4 goes out behind it, and is lost
-    late = [one for one in other.handle(2002.0, Received("a/1", Append("g", 5, 4, 5, (), 0, 1)))
-            if isinstance(one, Send)]
+    replica.handle(
+        2001.0, Received("c/1", Appended("g", 5, True, 3, 1))
+    )  # entry 4 goes out behind it, and is lost
+    late = [
+        one
+        for one in other.handle(2002.0, Received("a/1", Append("g", 5, 4, 5, (), 0, 1)))
+        if isinstance(one, Send)
+    ]
     assert [one.message for one in late] == [Appended("g", 5, False, 1, 1)]
     out, _ = beats(replica, other, 2100.0, 3)
     assert match(replica, "c/1") == 4 and other.last == 4
@@ -1470,14 +1734,36 @@
 
 
 def test_a_lease_ask_that_comes_again_late_takes_no_part() -> None:
-    """The holder has given its part back since: nobody uses what it is granted now, and others get nothing for 2 s."""
+    """The holder has given its part back since: nobody uses what it is granted now, and others get nothing
+    for 2 s."""
     floors = Floors(Timings(), Invariants())
-    floors.apply(1000.0, contracts.Open(id="o", tenant="t", contract="c", version=1, rate=100.0, burst=10.0,
-                                        times=((0.0, 1e6),), holds_from_ms=0.0))
+    floors.apply(
+        1000.0,
+        contracts.Open(
+            id="o",
+            tenant="t",
+            contract="c",
+            version=1,
+            rate=100.0,
+            burst=10.0,
+            times=((0.0, 1e6),),
+            holds_from_ms=0.0,
+        ),
+    )
 
     def ask(id_: str, holder: str, number: int, wish: float) -> Lease:
-        return Lease(id=id_, tenant="t", contract="c", holder=holder, number=number, keep=0.0, wish=wish, room=0.0,
-                     process="p", order=int(id_))
+        return Lease(
+            id=id_,
+            tenant="t",
+            contract="c",
+            holder=holder,
+            number=number,
+            keep=0.0,
+            wish=wish,
+            room=0.0,
+            process="p",
+            order=int(id_),
+        )
 
     first = ask("1", "a/1", 0, 100.0)
     assert floors.apply(1000.0, first).value["part"] == 100.0
@@ -1486,14 +1772,19 @@
     assert floors.apply(1700.0, ask("3", "b/1", 0, 100.0)).value["part"] == 100.0
 
 
-@pytest.mark.parametrize(("part", "make", "most"), [
-    (promises.Promises, wide_promise, promises.MOST_BYTES),
-    (owed.Owed, wide_batch, owed.MOST_BYTES),
-    (owed.Owed, narrow_batch, owed.MOST_BYTES),
-])
-def test_a_full_part_holds_no_more_bytes_than_its_bound(part: Any, make: Callable[[int], Any], most: int) -> None:
-    """Otherwise no newcomer can ever take it in, and a lost copy stays lost.  Put back from a snapshot it is as full;
-    what is there may become shorter."""
+@pytest.mark.parametrize(
+    ("part", "make", "most"),
+    [
+        (promises.Promises, wide_promise, promises.MOST_BYTES),
+        (owed.Owed, wide_batch, owed.MOST_BYTES),
+        (owed.Owed, narrow_batch, owed.MOST_BYTES),
+    ],
+)
+def test_a_full_part_holds_no_more_bytes_than_its_bound(
+    part: Any, make: Callable[[int], Any], most: int
+) -> None:
+    """Otherwise no newcomer can ever take it in, and a lost copy stays lost.  Put back from a snapshot it
+    is as full; what is there may become shorter."""
     made, number = part(), 0
     assert make(0).fault() == ""
     while made.apply(0.0, make(number)).error is None:
@@ -1509,20 +1800,36 @@
             assert one.apply(0.0, make(number)).error is None
 
 
-@pytest.mark.parametrize(("part", "make", "most"), [
-    (promises.Promises, lambda number: promises.Promise(id="1", name=f"{number:0128}", value="v" * 1024), 8192),
-    (owed.Owed, narrow_batch, 1024),
-])
+@pytest.mark.parametrize(
+    ("part", "make", "most"),
+    [
+        (
+            promises.Promises,
+            lambda number: promises.Promise(id="1", name=f"{number:0128}", value="v" * 1024),
+            8192,
+        ),
+        (owed.Owed, narrow_batch, 1024),
+    ],
+)
 def test_what_is_one_byte_a_character_fills_a_part_to_its_number(
-        part: Any, make: Callable[[int], Any], most: int) -> None:
+    part: Any, make: Callable[[int], Any], most: int
+) -> None:
     made = part()
-    assert [made.apply(0.0, make(number)).error is None for number in range(most + 1)] == [True] * most + [False]
+    assert [made.apply(0.0, make(number)).error is None for number in range(most + 1)] == [True] * most + [
+        False
+    ]
 
 
 def test_one_wrong_clock_of_three_does_not_carry_the_time_ahead_while_one_is_lost() -> None:
     """Half an hour ahead for good, as a group's time never goes back: windows end before they begin."""
     names = ("a", "b", "c")
-    node = Node(Setup("f", "a", "1", tuple(Member(name, "h") for name in names)), {}, Random(1), 0.0, 1e12,
-                Invariants())
+    node = Node(
+        Setup("f", "a", "1", tuple(Member(name, "h") for name in names)),
+        {},
+        Random(1),
+        0.0,
+        1e12,
+        Invariants(),
+    )
     node.handle(1.0, 1e12, Received("b/1", Ping(1, "a/1", (), 1e12 + 3_600_000.0)))
     assert not node._timed or node.ahead < 1000.0
--- a/tests/test_fleet_contracts.py
+++ b/tests/test_fleet_contracts.py
@@ -1,8 +1,9 @@
-"""Contracts: admission over time, parts that sum to at most the whole whatever is lost, and a floor that moves.
+"""Contracts: admission over time, parts that sum to at most the whole whatever is lost, and a floor that
+moves.
 
-`Town` plays one tenant's contract in true time: gateways with clocks of their own, a channel that delays, loses and
-repeats, holders that freeze, two copies of the tenant's group of which either may lead.  Its referee looks at what
-gateways believe that they may use, never at what the groups say.
+`Town` plays one tenant's contract in true time: gateways with clocks of their own, a channel that delays,
+loses and repeats, holders that freeze, two copies of the tenant's group of which either may lead.  Its
+referee looks at what gateways believe that they may use, never at what the groups say.
 """
 
 from __future__ import annotations
@@ -54,7 +55,9 @@
 
 def terms(rate: float, begin: float, end: float, tenant: str = "dealer", **more: Any) -> Terms:
     window = Window(begin, end, more.pop("every_ms", 0.0), more.pop("until_ms", 0.0))
-    return Terms(tenant=tenant, customers=(1, 2), rate=rate, burst=more.pop("burst", 30.0), windows=(window,), **more)
+    return Terms(
+        tenant=tenant, customers=(1, 2), rate=rate, burst=more.pop("burst", 30.0), windows=(window,), **more
+    )
 
 
 def made(units: float = 100.0, reserve: float = 0.0, others: float = 0.0) -> Contracts:
@@ -79,7 +82,8 @@
     return other
 
 
-# Admission -----------------------------------------------------------------------------------------------------------
+# Admission
+# -----------------------------------------------------------------------------------------------------------
 
 
 def test_what_does_not_fit_is_refused_with_what_would_and_when() -> None:
@@ -97,12 +101,20 @@
     assert isinstance(propose(part, 1.0, "e", daily).error, NoRoom)
 
 
-@pytest.mark.parametrize(("asked", "key"), [
-    (terms(0.0, 10.0, 20.0), "rate"), (terms(math.nan, 10.0, 20.0), "rate"), (terms(1.0, 20.0, 10.0), "windows"),
-    (terms(1.0, 1.0, 9.0), "windows"), (terms(1.0, 10.0, 20.0, burst=-1.0), "burst"),
-    (terms(1.0, 10.0, 20.0, tenant="no name"), "tenant"), (terms(1.0, 10.0, 20.0, rank=0), "rank"),
-    (terms(1.0, 10.0, 20.0, every_ms=5.0, until_ms=90.0), "windows"),
-    (terms(1.0, 10.0, 20.0, every_ms=20.0, until_ms=1e9), "windows")])
+@pytest.mark.parametrize(
+    ("asked", "key"),
+    [
+        (terms(0.0, 10.0, 20.0), "rate"),
+        (terms(math.nan, 10.0, 20.0), "rate"),
+        (terms(1.0, 20.0, 10.0), "windows"),
+        (terms(1.0, 1.0, 9.0), "windows"),
+        (terms(1.0, 10.0, 20.0, burst=-1.0), "burst"),
+        (terms(1.0, 10.0, 20.0, tenant="no name"), "tenant"),
+        (terms(1.0, 10.0, 20.0, rank=0), "rank"),
+        (terms(1.0, 10.0, 20.0, every_ms=5.0, until_ms=90.0), "windows"),
+        (terms(1.0, 10.0, 20.0, every_ms=20.0, until_ms=1e9), "windows"),
+    ],
+)
 def test_what_is_wrong_is_named_and_changes_nothing(asked: Terms, key: str) -> None:
     part = made()
     before = part.dump()
@@ -112,19 +124,35 @@
 
 def test_a_contract_goes_its_way_and_a_window_comes_again() -> None:
     part, groups = made(), Floors(T, Invariants())
-    assert propose(part, 1.0, "a", terms(60.0, 20_000.0, 30_000.0, every_ms=60_000.0, until_ms=100_000.0)).error is None
+    assert (
+        propose(part, 1.0, "a", terms(60.0, 20_000.0, 30_000.0, every_ms=60_000.0, until_ms=100_000.0)).error
+        is None
+    )
     seen: list[str] = []
     for at in range(0, 130_000, 500):
         for command in part.work(look(at)) + groups.work(look(at)):
             (part if command.key() == "" else groups).apply(at, command)
         if at == 22_000:
             for units in (3.0, 3.0, 5.0):
-                part.apply(at, Short(id="s", contract="a", by="g", cause="load", units=units, since_ms=21_000.0))
+                part.apply(
+                    at, Short(id="s", contract="a", by="g", cause="load", units=units, since_ms=21_000.0)
+                )
         state = part.held["a"].state.value
         if not seen or seen[-1] != state:
             seen.append(state)
-    assert seen == ["admitted", "armed", "active", "breached", "active", "closing", "admitted", "armed", "active",
-                    "closing", "settled"]
+    assert seen == [
+        "admitted",
+        "armed",
+        "active",
+        "breached",
+        "active",
+        "closing",
+        "admitted",
+        "armed",
+        "active",
+        "closing",
+        "settled",
+    ]
     facts = part.look(ContractsRead(id="r")).value["contracts"]["a"]
     assert facts["short"] == {"load": 5.0} and facts["since_ms"] == 21_000.0  # totals: a repeat adds nothing
     assert again(part).look(ContractsRead(id="r")).value["contracts"]["a"] == facts
@@ -158,14 +186,25 @@
 
 
 @QUICK
-@given(st.lists(st.tuples(st.floats(1.0, 60.0), st.integers(0, 50), st.integers(1, 30), st.integers(0, 3)), max_size=14))
+@given(
+    st.lists(
+        st.tuples(st.floats(1.0, 60.0), st.integers(0, 50), st.integers(1, 30), st.integers(0, 3)),
+        max_size=14,
+    )
+)
 def test_admitted_windows_never_pass_the_capacity(asked: list[tuple[float, int, int, int]]) -> None:
     part = made(100.0)
     held: list[tuple[float, float, float]] = []
     for number, (rate, begin, length, turns) in enumerate(asked):
         every = (length + begin + 3) * 1e3 if turns else 0.0
-        one = terms(rate, begin * 1e3, (begin + length) * 1e3, tenant=f"t{number}", every_ms=every,
-                    until_ms=begin * 1e3 + every * turns + 1.0 if turns else 0.0)
+        one = terms(
+            rate,
+            begin * 1e3,
+            (begin + length) * 1e3,
+            tenant=f"t{number}",
+            every_ms=every,
+            until_ms=begin * 1e3 + every * turns + 1.0 if turns else 0.0,
+        )
         got = propose(part, 0.0, str(number), one).error
         if isinstance(got, NoRoom) and got.fits > 1.0:  # what it says would fit does
             one = replace_rate(one, got.fits * 0.999)
@@ -181,22 +220,37 @@
     return msgspec.structs.replace(one, rate=rate)
 
 
-# A whole and its parts -----------------------------------------------------------------------------------------------
+# A whole and its parts
+# -----------------------------------------------------------------------------------------------
 
 
 class Parts(RuleBasedStateMachine):
-    """Holders that ask, forget, repeat and end in any order: parts within the whole, units never from nothing."""
-
-    @initialize(whole=st.sampled_from([60.0, 7.0]), depth=st.sampled_from([0.0, 30.0]), step=st.sampled_from([0.0, 1.0]))
+    """Holders that ask, forget, repeat and end in any order: parts within the whole, units never from
+    nothing."""
+
+    @initialize(
+        whole=st.sampled_from([60.0, 7.0]),
+        depth=st.sampled_from([0.0, 30.0]),
+        step=st.sampled_from([0.0, 1.0]),
+    )
     def begin(self, whole: float, depth: float, step: float) -> None:
         self.checks = Invariants()
         self.one = Divided(whole, depth, step, even=step > 0)
         self.mine: dict[str, tuple[int, float, float, float]] = {}  # number, part, cap, units in the bucket
         self.was = depth
 
-    @rule(who=st.sampled_from("abcd"), keep=st.floats(0, 1), wish=st.floats(0, 80), hold=st.floats(0, 1),
-          used=st.floats(0, 1), soft=st.booleans(), stale=st.booleans())
-    def ask(self, who: str, keep: float, wish: float, hold: float, used: float, soft: bool, stale: bool) -> None:
+    @rule(
+        who=st.sampled_from("abcd"),
+        keep=st.floats(0, 1),
+        wish=st.floats(0, 80),
+        hold=st.floats(0, 1),
+        used=st.floats(0, 1),
+        soft=st.booleans(),
+        stale=st.booleans(),
+    )
+    def ask(
+        self, who: str, keep: float, wish: float, hold: float, used: float, soft: bool, stale: bool
+    ) -> None:
         number, part, cap, level = self.mine.get(who, (0, 0.0, 0.0, 0.0))
         self.was -= level * (1.0 - used) if not stale else 0.0
         level *= used
@@ -253,7 +307,8 @@
         for who, wish in (("a", 20.0), ("b", 2.0), ("c", 10.0)):
             one.ask(who, 0, 0.0, wish, 0.0, Invariants())
     assert [even.fair(who, wish) for who, wish in (("a", 20.0), ("b", 2.0), ("c", 10.0))] == [5.0, 2.0, 5.0]
-    # Of rates 0.3 are in no part, for whoever has requests waiting; and all that those wish who draw units one by one.
+    # Of rates 0.3 are in no part, for whoever has requests waiting; and all that those wish who draw units
+    # one by one.
     assert [rates.fair(who, wish) for who, wish in (("a", 20.0), ("b", 2.0))] == pytest.approx([5.25, 0.525])
     rates.ask("c", 3, 0.0, 2.0, 0.0, Invariants(), pulls=True)
     assert rates.fair("a", 20.0) + rates.fair("b", 2.0) == pytest.approx(12.0 - 2.0 - 3.0, abs=1.5)
@@ -263,14 +318,22 @@
     assert even.over(4.0 + TAIL, TAIL, 0.0) == [] and len(even.over(5.0 + TAIL, TAIL, 0.0)) == 3
 
 
-# A town of gateways --------------------------------------------------------------------------------------------------
+# A town of gateways
+# --------------------------------------------------------------------------------------------------
 
 
 class Town:
-    """See the module.  `drift`: every clock's rate lies within it; the leader's is the fastest, gateways' are drawn."""
-
-    def __init__(self, seed: int, rate: float = 60.0, burst: float = 30.0, length: float = 30_000.0,
-                 rough: bool = False) -> None:
+    """See the module.  `drift`: every clock's rate lies within it; the leader's is the fastest, gateways'
+    are drawn."""
+
+    def __init__(
+        self,
+        seed: int,
+        rate: float = 60.0,
+        burst: float = 30.0,
+        length: float = 30_000.0,
+        rough: bool = False,
+    ) -> None:
         self.draw, self.t, self.queue, self.count = Random(seed), 0.0, [], itertools.count()
         self.rough, self.rate, self.burst = rough, rate, burst
         self.begin, self.end = 3000.0, 3000.0 + length
@@ -280,7 +343,9 @@
         self.lead = 0
         drift = self.timings.clock_drift if rough else 0.0
         self.fast = 1.0 + drift
-        self.clocks = [(self.draw.uniform(0.0, 1e5), self.draw.choice([1 - drift, 1.0, 1 + drift])) for _ in range(5)]
+        self.clocks = [
+            (self.draw.uniform(0.0, 1e5), self.draw.choice([1 - drift, 1.0, 1 + drift])) for _ in range(5)
+        ]
         self.floors = [Floor(f"g{n}/1", "p", self.timings) for n in range(5)]
         self.frozen, self.cut = [0.0] * 5, [0.0] * 5  # until when
         self.drawn = [0.0, 0.0]  # the referee's bucket: level, and as of when
@@ -302,6 +367,7 @@
         def turn() -> None:
             do()
             self.at(self.t + pause, turn)
+
         self.at(self.draw.uniform(0.0, pause), turn)
 
     def run(self, until: float) -> None:
@@ -323,7 +389,9 @@
             return self.t < self.cut[n] or (self.rough and self.draw.random() < 0.1)
 
         def wire() -> float:
-            return self.draw.uniform(1.0, 4.0) if not self.rough else self.draw.choice([2.0, 5.0, 30.0, 400.0])
+            return (
+                self.draw.uniform(1.0, 4.0) if not self.rough else self.draw.choice([2.0, 5.0, 30.0, 400.0])
+            )
 
         def done(result: Applied | FleetError) -> None:
             if self.t < self.frozen[n]:
@@ -339,6 +407,7 @@
                 self.at(self.t + wire(), lambda: done(result))
                 if self.rough and self.draw.random() < 0.1:
                     self.at(self.t + wire(), lambda: done(result))
+
         if lost():
             self.at(self.t + T.call_ms, lambda: done(UnknownOutcome("g", "lost")))
         else:
@@ -390,7 +459,9 @@
         rate = self.rate * (1.0 + self.timings.clock_drift) / 1000.0
         self.drawn = [max(level - (self.t - since) * rate, 0.0) + units, self.t]
         if self.drawn[0] > self.burst + 1.0 + 1e-6:
-            raise Broken(Rule.PARTS_IN_WHOLE, f"{self.drawn[0]:g} units above the rate, {self.burst:g} may be")
+            raise Broken(
+                Rule.PARTS_IN_WHOLE, f"{self.drawn[0]:g} units above the rate, {self.burst:g} may be"
+            )
 
 
 def rough_days(seeds: range) -> None:
@@ -401,6 +472,7 @@
         def tenant(town: Town = town) -> None:
             busy = [int(town.t // 2500) % 5, int(town.t // 4000) % 5]
             town.ask(town.draw.choice(busy), town.draw.choice([0.5, 1.0, 2.0]))
+
         town.every(9.0, tenant)
         town.run(25_000.0)
         assert town.most > 50.0  # something was held at all
@@ -420,6 +492,7 @@
     def answered(self: Floor, now: float, one: Any, error: Any, value: Any) -> None:
         one.asked = now
         real(self, now, one, error, value)
+
     patch.setattr(Floor, "_answered", answered)
 
 
@@ -431,6 +504,7 @@
         made = real(self, now, one, *more)
         one.part = part  # it has not shrunk before it says so
         return made
+
     patch.setattr(Floor, "_ask", ask)
 
 
@@ -441,12 +515,20 @@
         if room > 0.0 and number == getattr(self.held.get(who), "number", 0):
             self.free += room
         return real(self, who, number, keep, wish, room, *more)
+
     patch.setattr(Divided, "ask", ask)
 
 
 def unseen(patch: pytest.MonkeyPatch) -> None:
-    patch.setattr(Divided, "over", lambda self, now, outlast, since: [
-        (who, one.number) for who, one in self.held.items() if one.seen == math.inf or now - one.seen >= outlast])
+    patch.setattr(
+        Divided,
+        "over",
+        lambda self, now, outlast, since: [
+            (who, one.number)
+            for who, one in self.held.items()
+            if one.seen == math.inf or now - one.seen >= outlast
+        ],
+    )
     patch.setattr(Floors, "seen", lambda self, now: None)
 
 
@@ -458,6 +540,7 @@
         if result.error is None:
             del self.held[name].versions[0]
         return result
+
     patch.setattr(Contracts, "_change", change)
 
 
@@ -466,13 +549,21 @@
         draw, one = Random(seed), Parts()
         one.begin(whole=60.0, depth=30.0, step=0.0)
         for _ in range(300):
-            one.ask(who=draw.choice("abcd"), keep=draw.random(), wish=draw.uniform(0.0, 80.0), hold=draw.random(),
-                    used=draw.random(), soft=draw.random() < 0.5, stale=False)
+            one.ask(
+                who=draw.choice("abcd"),
+                keep=draw.random(),
+                wish=draw.uniform(0.0, 80.0),
+                hold=draw.random(),
+                used=draw.random(),
+                soft=draw.random() < 0.5,
+                stale=False,
+            )
             one.holds()
 
 
 def changed_days(seeds: range) -> None:
-    """Contracts proposed, changed and cancelled at random; Opens and Tolds late; holders that use all they may."""
+    """Contracts proposed, changed and cancelled at random; Opens and Tolds late; holders that use all they
+    may."""
     for seed in seeds:
         draw, part, groups = Random(seed), made(100.0), Floors(T, Invariants())
         uses: dict[tuple[str, str], list[float]] = {}  # contract, holder: number, part, ends, until, then
@@ -485,11 +576,20 @@
                 propose(part, at, name, one)
             elif act < 0.08 and name in part.held:
                 now = part.held[name].newest.terms
-                part.apply(at, Change(id=f"h{at}", contract=name, holds_from_ms=at + 2 * TAIL + draw.choice([1, 3000]),
-                                      terms=replace_rate(now, draw.choice([20.0, 40.0, 80.0]))))
+                part.apply(
+                    at,
+                    Change(
+                        id=f"h{at}",
+                        contract=name,
+                        holds_from_ms=at + 2 * TAIL + draw.choice([1, 3000]),
+                        terms=replace_rate(now, draw.choice([20.0, 40.0, 80.0])),
+                    ),
+                )
             elif act < 0.1 and name in part.held:
                 part.apply(at, CancelContract(id=f"x{at}", contract=name))
-            post += [(at + draw.choice([0, 100, 1000]), one) for one in part.work(look(at)) + groups.work(look(at))]
+            post += [
+                (at + draw.choice([0, 100, 1000]), one) for one in part.work(look(at)) + groups.work(look(at))
+            ]
             for command in [sent for when, sent in post if when <= at]:
                 (part if command.key() == "" else groups).apply(at, command)
             groups.seen(at)
@@ -499,11 +599,25 @@
                     use = uses.setdefault((contract, who), [0, 0.0, 0.0, 0.0, 0.0])
                     if draw.random() < 0.2:
                         keep = now_used(use, at)
-                        got = groups.apply(at, Lease(id=f"{at}{who}", tenant="dealer", contract=contract, holder=who,
-                                                     number=int(use[0]), keep=keep, wish=100.0, room=0.0))
+                        got = groups.apply(
+                            at,
+                            Lease(
+                                id=f"{at}{who}",
+                                tenant="dealer",
+                                contract=contract,
+                                holder=who,
+                                number=int(use[0]),
+                                keep=keep,
+                                wish=100.0,
+                                room=0.0,
+                            ),
+                        )
                         fact = got.value
-                        use[:] = ([fact["number"], fact["part"], at + T.lease_ms, fact["until_ms"], fact["then"]]
-                                  if got.error is None else [0, 0.0, 0.0, 0.0, 0.0])
+                        use[:] = (
+                            [fact["number"], fact["part"], at + T.lease_ms, fact["until_ms"], fact["then"]]
+                            if got.error is None
+                            else [0, 0.0, 0.0, 0.0, 0.0]
+                        )
             total = sum(now_used(use, at) for use in uses.values())
             if total > 100.0 + 1e-6:
                 raise Broken(Rule.CONTRACTS_FIT, f"{total:g} of 100 in use at {at}")
@@ -520,24 +634,36 @@
     changed_days(range(8))
 
 
-@pytest.mark.parametrize(("fault", "days", "found"), [
-    (no_margin, rough_days, {Rule.LEASE_ONCE}), (from_the_answer, rough_days, {Rule.LEASE_ONCE}),
-    (grows_first, rough_days, {Rule.LEASE_ONCE}), (unseen, rough_days, {Rule.LEASE_ONCE}),
-    (twice, units_days, {Rule.PARTS_IN_WHOLE}), (freed_early, changed_days, {Rule.CONTRACTS_FIT})])
-def test_a_planted_fault_is_found_by_name(monkeypatch: pytest.MonkeyPatch, fault: Callable[[pytest.MonkeyPatch], None],
-                                          days: Callable[[range], None], found: set[Rule]) -> None:
+@pytest.mark.parametrize(
+    ("fault", "days", "found"),
+    [
+        (no_margin, rough_days, {Rule.LEASE_ONCE}),
+        (from_the_answer, rough_days, {Rule.LEASE_ONCE}),
+        (grows_first, rough_days, {Rule.LEASE_ONCE}),
+        (unseen, rough_days, {Rule.LEASE_ONCE}),
+        (twice, units_days, {Rule.PARTS_IN_WHOLE}),
+        (freed_early, changed_days, {Rule.CONTRACTS_FIT}),
+    ],
+)
+def test_a_planted_fault_is_found_by_name(
+    monkeypatch: pytest.MonkeyPatch,
+    fault: Callable[[pytest.MonkeyPatch], None],
+    days: Callable[[range], None],
+    found: set[Rule],
+) -> None:
     fault(monkeypatch)
     with pytest.raises(Broken) as caught:
         days(range(12))
     assert caught.value.rule in found
 
 
-# The promise itself --------------------------------------------------------------------------------------------------
+# The promise itself
+# --------------------------------------------------------------------------------------------------
 
 
 def test_the_floor_moves_with_the_traffic_and_idle_capacity_is_lent() -> None:
-    """The tenant asks for twice its rate at one gateway of five, another every 8 s, and rests from 19 to 27 s; others
-    ask at each gateway for five times what is left to them."""
+    """The tenant asks for twice its rate at one gateway of five, another every 8 s, and rests from 19 to
+    27 s; others ask at each gateway for five times what is left to them."""
     town = Town(3, length=40_000.0)
     left, rest = 300.0 - 60.0, (19_000.0, 27_000.0)
     asked, served, used, lent = [0] * 600, [0] * 600, [0.0] * 600, [0.0] * 600
@@ -575,13 +701,20 @@
     town.every(2.0, turns)
     town.every(5.0, others)
     town.run(town.end)
-    seconds = [n for n in range(30, 420) if all(asked[n:n + 10]) and sum(asked[n:n + 10]) >= 60
-               and not rest[1] // 100 - 10 < n < rest[1] // 100 + 3]
-    floor_kept = min(sum(served[n:n + 10]) for n in seconds) / 60.0
+    seconds = [
+        n
+        for n in range(30, 420)
+        if all(asked[n : n + 10])
+        and sum(asked[n : n + 10]) >= 60
+        and not rest[1] // 100 - 10 < n < rest[1] // 100 + 3
+    ]
+    floor_kept = min(sum(served[n : n + 10]) for n in seconds) / 60.0
     assert len(seconds) > 200 and floor_kept >= 0.98
     assert town.most <= 60.0 + 1e-6  # the contract is never passed
     quiet = range(int(rest[0] // 100) + 1, int(rest[1] // 100))
-    assert sum(used[n] for n in quiet) >= 0.95 * 30.0 * len(quiet)  # all that others may use, with what is lent
+    assert sum(used[n] for n in quiet) >= 0.95 * 30.0 * len(
+        quiet
+    )  # all that others may use, with what is lent
     back = [n for n in range(int(rest[1] // 100) + 1, 300) if lent[n] > 0.05 * 60.0]
     assert max(back, default=0) <= int((rest[1] + 250.0) // 100)
     town.run(town.end + 15_000.0)
@@ -627,9 +760,15 @@
     yield Claim("two", 2, 20.0, 20.0)
 
 
-@pytest.mark.parametrize(("capacity", "kept"), [
-    (100.0, (30.0, 40.0, 20.0, 10.0)), (60.0, (30.0, 20.0, 10.0, 0.0)), (15.0, (15.0, 0.0, 0.0, 0.0)),
-    (-1.0, (0.0, 0.0, 0.0, 0.0))])
+@pytest.mark.parametrize(
+    ("capacity", "kept"),
+    [
+        (100.0, (30.0, 40.0, 20.0, 10.0)),
+        (60.0, (30.0, 20.0, 10.0, 0.0)),
+        (15.0, (15.0, 0.0, 0.0, 0.0)),
+        (-1.0, (0.0, 0.0, 0.0, 0.0)),
+    ],
+)
 def test_what_falls_short_goes_by_class_and_evenly_within(capacity: float, kept: tuple[float, ...]) -> None:
     got = split(capacity, claims())
     assert (*got.contracts.values(), got.others) == pytest.approx(kept)
--- a/tests/test_fleet_drains.py
+++ b/tests/test_fleet_drains.py
@@ -1,4 +1,5 @@
-"""Leases on connections and rolling drains, what may go wrong drawn at random, and a referee that knows the truth."""
+"""Leases on connections and rolling drains, what may go wrong drawn at random, and a referee that knows
+the truth."""
 
 from __future__ import annotations
 
@@ -43,12 +44,21 @@
 
 
 def view(now: float, since: float, **more: Any) -> View:
-    given: dict[str, Any] = {"me": "g0/1", "alive": frozenset(), "dead_for": {}, "halls": {}, "load": {}, "groups": {},
-                             "behind": {}, **more}
+    given: dict[str, Any] = {
+        "me": "g0/1",
+        "alive": frozenset(),
+        "dead_for": {},
+        "halls": {},
+        "load": {},
+        "groups": {},
+        "behind": {},
+        **more,
+    }
     return View(now=now, wall=now, lead_since=since, timings=TIMINGS, **given)
 
 
-# Connections ----------------------------------------------------------------------------------------------------------
+# Connections
+# ----------------------------------------------------------------------------------------------------------
 
 
 @dataclass
@@ -77,7 +87,8 @@
 
 
 class Connected:
-    """Gateways, servers and a leader, each with a clock of its own; the true connections are at the servers."""
+    """Gateways, servers and a leader, each with a clock of its own; the true connections are at the
+    servers."""
 
     def __init__(self, draw: Random, limits: dict[str, int]) -> None:
         self.draw, self.limits, self.rules, self.true = draw, dict(limits), Invariants(), 0.0
@@ -136,13 +147,17 @@
             if command.id not in self.answers or who is None:
                 self.answers[command.id] = self.state.apply(self.true, command)
             if who is not None and self.draw.random() >= self.loss:
-                self.replies.append((self.true + self.draw.choice((0, 0, 100, 1500)), who, command,
-                                     self.answers[command.id]))
+                self.replies.append(
+                    (self.true + self.draw.choice((0, 0, 100, 1500)), who, command, self.answers[command.id])
+                )
             elif who is not None:
                 self.lost(who, command)
         for server in self.sockets:
-            self.sockets[server] = [one for one in self.sockets[server]
-                                    if min(one.ends, one.used + IDLE / (1.0 - DRIFT)) > self.true]
+            self.sockets[server] = [
+                one
+                for one in self.sockets[server]
+                if min(one.ends, one.used + IDLE / (1.0 - DRIFT)) > self.true
+            ]
         self.referee()
 
     def turn(self, gate: Gate) -> None:
@@ -184,7 +199,10 @@
             if server in self.state.servers:
                 granted = self.state.servers[server].parts.granted()
                 if len(held) > granted:
-                    raise Broken(Rule.CONNECTIONS_FIT, f"{server}: {len(held)} open, {granted:g} granted, {self.true:g}")
+                    raise Broken(
+                        Rule.CONNECTIONS_FIT,
+                        f"{server}: {len(held)} open, {granted:g} granted, {self.true:g}",
+                    )
 
     def act(self) -> None:
         """Anything that may happen."""
@@ -229,7 +247,12 @@
         self.world.draw = Random(seed)
         self.world.act()
 
-    @rule(n=st.integers(0, 2), need=st.integers(0, 8), server=st.sampled_from(sorted(LIMITS)), ticks=st.integers(1, 50))
+    @rule(
+        n=st.integers(0, 2),
+        need=st.integers(0, 8),
+        server=st.sampled_from(sorted(LIMITS)),
+        ticks=st.integers(1, 50),
+    )
     def ask(self, n: int, need: int, server: str, ticks: int) -> None:
         self.world.gates[n].need[server] = need
         for _ in range(ticks):
@@ -259,9 +282,17 @@
 
 
 def machine(kind: type[RuleBasedStateMachine], examples: int, steps: int) -> None:
-    run_state_machine_as_test(kind, settings=settings(
-        max_examples=examples, stateful_step_count=steps, deadline=None, derandomize=True, database=None,
-        suppress_health_check=list(HealthCheck)))
+    run_state_machine_as_test(
+        kind,
+        settings=settings(
+            max_examples=examples,
+            stateful_step_count=steps,
+            deadline=None,
+            derandomize=True,
+            database=None,
+            suppress_health_check=list(HealthCheck),
+        ),
+    )
 
 
 def test_connections_stay_within_limits_whatever_is_lost() -> None:
@@ -307,7 +338,9 @@
 
 
 def without_idle(patch: pytest.MonkeyPatch) -> None:
-    patch.setattr(Connections, "patience", lambda self, idle: self.lease_ms() * (1 + DRIFT) / (1 - DRIFT) + 300.0)
+    patch.setattr(
+        Connections, "patience", lambda self, idle: self.lease_ms() * (1 + DRIFT) / (1 - DRIFT) + 300.0
+    )
 
 
 def without_margin(patch: pytest.MonkeyPatch) -> None:
@@ -315,15 +348,24 @@
 
 
 def opened_before_told(patch: pytest.MonkeyPatch) -> None:
-    patch.setattr(Keeper, "may_open", lambda self, now, server: self.pools[server].open < self.pools[server].part)
-
-
-@pytest.mark.parametrize(("plant", "named"), [
-    (closed_too_soon, Rule.CONNECTIONS_FIT), (counted_from_the_answer, Rule.CONNECTIONS_FIT),
-    (without_idle, Rule.CONNECTIONS_FIT), (without_margin, Rule.CONNECTIONS_FIT),
-    (opened_before_told, Rule.OPEN_UNDER_LEASE)])
+    patch.setattr(
+        Keeper, "may_open", lambda self, now, server: self.pools[server].open < self.pools[server].part
+    )
+
+
+@pytest.mark.parametrize(
+    ("plant", "named"),
+    [
+        (closed_too_soon, Rule.CONNECTIONS_FIT),
+        (counted_from_the_answer, Rule.CONNECTIONS_FIT),
+        (without_idle, Rule.CONNECTIONS_FIT),
+        (without_margin, Rule.CONNECTIONS_FIT),
+        (opened_before_told, Rule.OPEN_UNDER_LEASE),
+    ],
+)
 def test_planted_faults_of_connections_are_found(
-        plant: Callable[[pytest.MonkeyPatch], None], named: Rule, monkeypatch: pytest.MonkeyPatch) -> None:
+    plant: Callable[[pytest.MonkeyPatch], None], named: Rule, monkeypatch: pytest.MonkeyPatch
+) -> None:
     plant(monkeypatch)
     assert found(walk, 40) is named
 
@@ -336,14 +378,17 @@
     old, new, other = process("g1/1", "b", "1"), process("g1/2", "b", "2"), process("g1/1", "c", "3")
 
     def ask(who: str, number: int, keep: int, wish: int) -> Any:
-        return state.apply(0, ConnLeases(id="3", holder=who, bucket=where, asks=(Ask("a", number, keep, wish),),
-                                         fresh=True)).value
+        return state.apply(
+            0, ConnLeases(id="3", holder=who, bucket=where, asks=(Ask("a", number, keep, wish),), fresh=True)
+        ).value
 
     assert ask(old, 0, 0, 4) == {"parts": [["a", 1, 4, 4, 1]], "old": []}
     assert ask(new, 0, 0, 5) == {"parts": [["a", 2, 1, 3, 0]], "old": [[old, "a", 1]]}
     assert ask(old, 9, 0, 4)["parts"] == [["a", connections.OVER, 0, 0, 0]]
     for by in (old, other, "g1/1#.4"):
-        told = state.apply(0, ConnEnd(id="4", holder=old, bucket=where, ends=(("a", 1),), proof="reset", by=by))
+        told = state.apply(
+            0, ConnEnd(id="4", holder=old, bucket=where, ends=(("a", 1),), proof="reset", by=by)
+        )
         assert isinstance(told.error, BadCall)
     ended = ConnEnd(id="5", holder=old, bucket=where, ends=(("a", 1),), proof="reset", by=new)
     assert [state.apply(0, ended).value for _ in range(2)] == [{"ended": 1}, {"ended": 0}]
@@ -397,7 +442,8 @@
     assert polled(connections.SHORT_MS / 2 + 1, second) == 1 and second.pools["a"].number
 
 
-# Rolls ----------------------------------------------------------------------------------------------------------------
+# Rolls
+# ----------------------------------------------------------------------------------------------------------------
 
 NAMES = [f"g{n}" for n in range(5)]
 HALLS = {name: "north" if n < 3 else "south" for n, name in enumerate(NAMES)}
@@ -442,18 +488,37 @@
         return gate.up and self.now - gate.begun >= (CATCH_UP_MS if gate.begun else 0.0)
 
     def view(self) -> View:
-        alive = frozenset(f"{name}/1" for name, one in self.gates.items() if one.up and not one.cut and not one.frozen)
+        alive = frozenset(
+            f"{name}/1" for name, one in self.gates.items() if one.up and not one.cut and not one.frozen
+        )
         dead = {f"{name}/1": 9999.0 for name in NAMES if f"{name}/1" not in alive}
-        behind = {group: tuple(who for who in voters if who in alive and not self.caught_up(name_of(who)))
-                  for group, voters in GROUPS.items()}
-        return view(self.now, 0.0, me=f"{NAMES[self.leader]}/1", alive=alive, dead_for=dead, halls=HALLS,
-                    load=self.load, groups=GROUPS, behind=behind)
+        behind = {
+            group: tuple(who for who in voters if who in alive and not self.caught_up(name_of(who)))
+            for group, voters in GROUPS.items()
+        }
+        return view(
+            self.now,
+            0.0,
+            me=f"{NAMES[self.leader]}/1",
+            alive=alive,
+            dead_for=dead,
+            halls=HALLS,
+            load=self.load,
+            groups=GROUPS,
+            behind=behind,
+        )
 
     def take(self, command: Command) -> Applied:
-        waits = {(roll.name, name) for roll in self.state.rolls.values() for name, one in roll.gateways.items()
-                 if one.stand is Stand.WAITING}
+        waits = {
+            (roll.name, name)
+            for roll in self.state.rolls.values()
+            for name, one in roll.gateways.items()
+            if one.stand is Stand.WAITING
+        }
         answer = self.state.apply(self.now, command)
-        begun = [key for key in sorted(waits) if self.state.rolls[key[0]].gateways[key[1]].stand is Stand.GRANTING]
+        begun = [
+            key for key in sorted(waits) if self.state.rolls[key[0]].gateways[key[1]].stand is Stand.GRANTING
+        ]
         if begun:
             short = [name for name in NAMES if not self.caught_up(name)]
             if short:
@@ -484,8 +549,13 @@
         for one in [one for one in self.late if one[0] <= self.now]:
             self.late.remove(one)
             command = one[1]
-            if not isinstance(command, rollout.RollWave) or command.stamp != self.state.rolls[command.roll].changes:
-                self.take(command)  # the facts of a wave that is on time are the leader's, and were checked then
+            if (
+                not isinstance(command, rollout.RollWave)
+                or command.stamp != self.state.rolls[command.roll].changes
+            ):
+                self.take(
+                    command
+                )  # the facts of a wave that is on time are the leader's, and were checked then
         for name, gate in self.gates.items():
             self.turn(name, gate)
 
@@ -534,7 +604,9 @@
         for _ in range(1200):
             if (roll := self.state.active) is None:
                 break
-            if any(one.stand is Stand.HELD and self.now - one.since >= 1500.0 for one in roll.gateways.values()):
+            if any(
+                one.stand is Stand.HELD and self.now - one.since >= 1500.0 for one in roll.gateways.values()
+            ):
                 self.state.apply(self.now, RollResume(id="r", roll=roll.name))
             self.tick()
         assert self.state.active is None, self.state.told()
@@ -546,7 +618,9 @@
 
     def ask(self, **more: Any) -> Applied:
         asked: dict[str, Any] = {"deadline_ms": 4000.0, "warm_ms": 500.0, **more}
-        return self.state.apply(self.now, RollAsk(id="a", roll=f"roll-{len(self.drains)}-{self.now:g}", **asked))
+        return self.state.apply(
+            self.now, RollAsk(id="a", roll=f"roll-{len(self.drains)}-{self.now:g}", **asked)
+        )
 
     def act(self) -> None:
         """Anything that may happen."""
@@ -555,8 +629,11 @@
         gate = self.gates[name]
         what = draw.randrange(9)
         if what < 2:
-            self.ask(at_once=draw.randrange(1, 4), act=draw.choice(("restart", "restart", "hold")),
-                     hall=draw.choice(("", "", "north")))
+            self.ask(
+                at_once=draw.randrange(1, 4),
+                act=draw.choice(("restart", "restart", "hold")),
+                hall=draw.choice(("", "", "north")),
+            )
         elif what == 2 and (roll := self.state.active) is not None:
             self.state.apply(self.now, RollCancel(id="c", roll=roll.name))
         elif what == 3 and gate.up:
@@ -631,8 +708,17 @@
 
 def without_majority(patch: pytest.MonkeyPatch) -> None:
     patch.setattr(Facts, "fault", lambda self: (Rule.COPIES_WHOLE, "x") if self.missing else None)
-    patch.setattr(Rolls, "_allowed", lambda self, roll, facts: "" if self._rules.check(
-        Rule.WAVE_KEEPS_QUORUM, facts is None or facts.spare >= 0, lambda: str(facts)) else "no")
+    patch.setattr(
+        Rolls,
+        "_allowed",
+        lambda self, roll, facts: (
+            ""
+            if self._rules.check(
+                Rule.WAVE_KEEPS_QUORUM, facts is None or facts.spare >= 0, lambda: str(facts)
+            )
+            else "no"
+        ),
+    )
 
 
 def without_room(patch: pytest.MonkeyPatch) -> None:
@@ -640,22 +726,43 @@
     patch.setattr(Facts, "fault", lambda self: fault(Facts(self.missing, self.spare, self.halls, -1.0, 0.0)))
 
 
-@pytest.mark.parametrize(("plant", "named"), [
-    (without_copies, Rule.COPIES_WHOLE), (without_compare, Rule.ROLL_FORWARD),
-    (without_majority, Rule.WAVE_KEEPS_QUORUM), (without_room, Rule.WAVE_KEEPS_ROOM)])
+@pytest.mark.parametrize(
+    ("plant", "named"),
+    [
+        (without_copies, Rule.COPIES_WHOLE),
+        (without_compare, Rule.ROLL_FORWARD),
+        (without_majority, Rule.WAVE_KEEPS_QUORUM),
+        (without_room, Rule.WAVE_KEEPS_ROOM),
+    ],
+)
 def test_planted_faults_of_rolls_are_found(
-        plant: Callable[[pytest.MonkeyPatch], None], named: Rule, monkeypatch: pytest.MonkeyPatch) -> None:
+    plant: Callable[[pytest.MonkeyPatch], None], named: Rule, monkeypatch: pytest.MonkeyPatch
+) -> None:
     plant(monkeypatch)
     assert found(roll_walk, 40) is named
 
 
-STANDS = {"restart": (Stand.WAITING, Stand.GRANTING, Stand.PAUSING, Stand.EMPTYING, Stand.ACTING, Stand.RETURNING,
-                      Stand.WARMING, Stand.DONE),
-          "hold": (Stand.PAUSING, Stand.EMPTYING, Stand.HELD, Stand.RETURNING)}
+STANDS = {
+    "restart": (
+        Stand.WAITING,
+        Stand.GRANTING,
+        Stand.PAUSING,
+        Stand.EMPTYING,
+        Stand.ACTING,
+        Stand.RETURNING,
+        Stand.WARMING,
+        Stand.DONE,
+    ),
+    "hold": (Stand.PAUSING, Stand.EMPTYING, Stand.HELD, Stand.RETURNING),
+}
 
 
-@pytest.mark.parametrize("event", ["cancel", "leader dies", "gateway dies", "gateway cut off", "cancel, leader dies"])
-@pytest.mark.parametrize(("act", "stand"), [(act, stand) for act, stands in STANDS.items() for stand in stands])
+@pytest.mark.parametrize(
+    "event", ["cancel", "leader dies", "gateway dies", "gateway cut off", "cancel, leader dies"]
+)
+@pytest.mark.parametrize(
+    ("act", "stand"), [(act, stand) for act, stands in STANDS.items() for stand in stands]
+)
 def test_at_each_step(event: str, act: str, stand: Stand) -> None:
     """Cancelled, or without its leader or the gateway, at each stand of one gateway."""
     world = Rolling(Random(0), loss=0.0)
@@ -727,12 +834,20 @@
     """A machine that lost its disk and was back at once passed for whole until a leader had reported it."""
     roll = Roll("r", RollAsk(id="1", roll="r"), gateways={"g0": rollout.Gateway()})
     groups = {"G": ("g0/1", "g1/1", "g2/1")}
-    for here, fault in ((("g0/1", "g1/1", "g2/1"), None), (("g0/1", "g1/1", "g2/2"), "copies not whole: 1 missing")):
-        seen = view(0.0, 0.0, alive=frozenset(here), halls=dict.fromkeys(("g0", "g1", "g2"), "h"), groups=groups)
+    for here, fault in (
+        (("g0/1", "g1/1", "g2/1"), None),
+        (("g0/1", "g1/1", "g2/2"), "copies not whole: 1 missing"),
+    ):
+        seen = view(
+            0.0, 0.0, alive=frozenset(here), halls=dict.fromkeys(("g0", "g1", "g2"), "h"), groups=groups
+        )
         found = Rolls(Invariants()).count(seen, roll, ["g0"]).fault()
         assert (found and found[1]) == fault
-    # One that loses its disk while it is turning clients away has no copies to leave behind; one that has left has.
-    lost = view(0.0, 0.0, alive=frozenset(("g0/2", "g1/1", "g2/1")), halls={"g0": "h", "g1": "h"}, groups=groups)
+    # One that loses its disk while it is turning clients away has no copies to leave behind; one that has
+    # left has.
+    lost = view(
+        0.0, 0.0, alive=frozenset(("g0/2", "g1/1", "g2/1")), halls={"g0": "h", "g1": "h"}, groups=groups
+    )
     for stand, missing in ((Stand.EMPTYING, 1), (Stand.ACTING, 0)):
         roll.gateways["g0"].stand = stand
         assert Rolls(Invariants()).count(lost, roll, ()).missing == missing
@@ -741,17 +856,28 @@
 def test_two_of_a_wave_that_come_to_share_a_group_leave_one_after_the_other() -> None:
     """A copy was made again at one of them while both turned clients away: neither could leave, for good."""
     rolls = Rolls(Invariants())
-    rolls.rolls["r"] = roll = Roll("r", RollAsk(id="1", roll="r", at_once=2), State.RUNNING, gateways={
-        name: rollout.Gateway(Stand.EMPTYING, told="empty") for name in ("g0", "g1")})
-    seen = view(0.0, 0.0, alive=frozenset(("g0/1", "g1/1", "g2/1")), halls=dict.fromkeys(("g0", "g1", "g2"), "h"),
-                groups={"G": ("g0/1", "g1/1", "g2/1")})
+    rolls.rolls["r"] = roll = Roll(
+        "r",
+        RollAsk(id="1", roll="r", at_once=2),
+        State.RUNNING,
+        gateways={name: rollout.Gateway(Stand.EMPTYING, told="empty") for name in ("g0", "g1")},
+    )
+    seen = view(
+        0.0,
+        0.0,
+        alive=frozenset(("g0/1", "g1/1", "g2/1")),
+        halls=dict.fromkeys(("g0", "g1", "g2"), "h"),
+        groups={"G": ("g0/1", "g1/1", "g2/1")},
+    )
     stale = msgspec.structs.replace(rolls.work(seen)[0], gateway="g1")
     (step,) = rolls.work(seen)
     assert rolls.apply(0.0, step).error is None and roll.gateways["g0"].stand is Stand.ACTING
     assert isinstance(rolls.apply(0.0, stale).error, WrongState)  # counted before the other left
     assert not [one for one in rolls.work(seen) if isinstance(one, RollStep)]
     roll.gateways["g0"].stand = Stand.WARMING
-    assert [one.gateway for one in rolls.work(seen) if isinstance(one, RollStep) and one.step == "ACT"] == ["g1"]
+    assert [one.gateway for one in rolls.work(seen) if isinstance(one, RollStep) and one.step == "ACT"] == [
+        "g1"
+    ]
 
 
 def test_a_roll_takes_little_longer_than_the_limits_allow() -> None:
--- a/tests/test_fleet_links.py
+++ b/tests/test_fleet_links.py
@@ -1,4 +1,5 @@
-"""Links between gateways on loopback: what passes, what ends a link and is told, what is dropped at a bound."""
+"""Links between gateways on loopback: what passes, what ends a link and is told, what is dropped at a
+bound."""
 
 from __future__ import annotations
 
@@ -32,15 +33,27 @@
 class End:
     """One member's links, and what they told."""
 
-    def __init__(self, me: str, fleet: str = "f", bounds: Bounds = SOON, listening: socket.socket | None = None,
-                 **others: int) -> None:
+    def __init__(
+        self,
+        me: str,
+        fleet: str = "f",
+        bounds: Bounds = SOON,
+        listening: socket.socket | None = None,
+        **others: int,
+    ) -> None:
         self.listening = listening or socket.create_server((HOST, 0))
         self.port = self.listening.getsockname()[1]
         self.got: list[tuple[str, AnyMessage]] = []
         self.errors: list[errors.FleetError] = []
-        self.links = Links(fleet, me, {name: (HOST, port) for name, port in others.items()},
-                           lambda sender, those: self.got.extend((sender, one) for one in those),
-                           self.errors.append, Random(1), bounds)
+        self.links = Links(
+            fleet,
+            me,
+            {name: (HOST, port) for name, port in others.items()},
+            lambda sender, those: self.got.extend((sender, one) for one in those),
+            self.errors.append,
+            Random(1),
+            bounds,
+        )
         self.links.listen([self.listening])
 
     def codes(self) -> list[str]:
@@ -87,13 +100,15 @@
             for n in range(40):  # more than one frame
                 here.links.send("b/1", big(100_000, n + 1))
             await until(lambda: len(there.got) == 44)
-            assert len(frames) > 4 and [m.entries[0].index for _, m in there.got[4:] if isinstance(m, Append)] == list(
-                range(1, 41))
+            assert len(frames) > 4 and [
+                m.entries[0].index for _, m in there.got[4:] if isinstance(m, Append)
+            ] == list(range(1, 41))
 
     play(test)
 
 
-# Bad frames -----------------------------------------------------------------------------------------------------------
+# Bad frames
+# -----------------------------------------------------------------------------------------------------------
 
 GOOD = frame(HELLO)
 
@@ -103,27 +118,30 @@
     return len(body).to_bytes(4, "big") + body
 
 
-@pytest.mark.parametrize(("sent", "code"), [
-    (b"GET / HTTP/1.1\r\n\r\n", "bad-frame"),
-    ((2 << 20).to_bytes(4, "big"), "bad-frame"),
-    (bytes(4), "bad-frame"),
-    (b"\x00\x00\x00\x03\xff\xff\xff", "bad-frame"),
-    (b"\x00\x00\x00\x40" + b"\x91" * 64, "bad-frame"),
-    (raw(VERSION + 1, "f", {"another": "form"}), "bad-frame"),
-    (raw(VERSION, "f", "a/1", "b", ("none",)), "bad-frame"),
-    (frame(Envelope(VERSION, "f", "a/1", "b", (PING,))), "bad-frame"),
-    (raw(VERSION, "other", "a/1", "b", ()), "another-fleet"),
-    (raw(VERSION, "f", "nobody/1", "b", ()), "another-fleet"),
-    (raw(VERSION, "f", "b/1", "b", ()), "another-fleet"),
-    (raw(VERSION, "f", "a", "b", ()), "another-fleet"),
-    (raw(VERSION, "f", "a/1", "b/0", ()), "stale-incarnation"),
-    (GOOD + raw(VERSION, "f", "a/1", "b/0", (PING,)), "stale-incarnation"),
-    (GOOD + raw(VERSION, "f", "c/1", "b", (PING,)), "bad-frame"),
-    (GOOD + raw(VERSION, "f", "a/1", "b", (["Unheard", 1],)), "bad-frame"),
-    (GOOD + raw(VERSION, "f", "a/1", "b", (["Ping", "one", "b/1", []],)), "bad-frame"),
-    (GOOD + frame(Envelope(VERSION, "f", "a/1", "b", (PING,) * 1025)), "bad-frame"),
-    (GOOD + (2 << 20).to_bytes(4, "big"), "bad-frame"),
-])
+@pytest.mark.parametrize(
+    ("sent", "code"),
+    [
+        (b"GET / HTTP/1.1\r\n\r\n", "bad-frame"),
+        ((2 << 20).to_bytes(4, "big"), "bad-frame"),
+        (bytes(4), "bad-frame"),
+        (b"\x00\x00\x00\x03\xff\xff\xff", "bad-frame"),
+        (b"\x00\x00\x00\x40" + b"\x91" * 64, "bad-frame"),
+        (raw(VERSION + 1, "f", {"another": "form"}), "bad-frame"),
+        (raw(VERSION, "f", "a/1", "b", ("none",)), "bad-frame"),
+        (frame(Envelope(VERSION, "f", "a/1", "b", (PING,))), "bad-frame"),
+        (raw(VERSION, "other", "a/1", "b", ()), "another-fleet"),
+        (raw(VERSION, "f", "nobody/1", "b", ()), "another-fleet"),
+        (raw(VERSION, "f", "b/1", "b", ()), "another-fleet"),
+        (raw(VERSION, "f", "a", "b", ()), "another-fleet"),
+        (raw(VERSION, "f", "a/1", "b/0", ()), "stale-incarnation"),
+        (GOOD + raw(VERSION, "f", "a/1", "b/0", (PING,)), "stale-incarnation"),
+        (GOOD + raw(VERSION, "f", "c/1", "b", (PING,)), "bad-frame"),
+        (GOOD + raw(VERSION, "f", "a/1", "b", (["Unheard", 1],)), "bad-frame"),
+        (GOOD + raw(VERSION, "f", "a/1", "b", (["Ping", "one", "b/1", []],)), "bad-frame"),
+        (GOOD + frame(Envelope(VERSION, "f", "a/1", "b", (PING,) * 1025)), "bad-frame"),
+        (GOOD + (2 << 20).to_bytes(4, "big"), "bad-frame"),
+    ],
+)
 def test_a_bad_frame_ends_its_link_and_nothing_else(sent: bytes, code: str) -> None:
     async def test() -> None:
         async with pair() as (here, there):
@@ -142,10 +160,13 @@
     play(test)
 
 
-@pytest.mark.parametrize(("changes", "codes"), [
-    ({"fleet": "other"}, ("another-fleet", "another-fleet")),
-    ({"name": "c"}, ("another-fleet", "another-fleet")),
-])
+@pytest.mark.parametrize(
+    ("changes", "codes"),
+    [
+        ({"fleet": "other"}, ("another-fleet", "another-fleet")),
+        ({"name": "c"}, ("another-fleet", "another-fleet")),
+    ],
+)
 def test_both_sides_of_a_wrong_link_are_told(changes: dict[str, str], codes: tuple[str, str]) -> None:
     async def test() -> None:
         there = End("b/1", a=1)
@@ -161,6 +182,7 @@
 
 def test_another_incarnation_takes_the_place_of_the_one_before() -> None:
     """What is meant for the old one does not reach the new; and the old one is not heard again."""
+
     async def test() -> None:
         async with pair() as (old, there):
             old.links.send("b/1", PING)
@@ -183,13 +205,21 @@
     play(test)
 
 
-# Bounds ---------------------------------------------------------------------------------------------------------------
+# Bounds
+# ---------------------------------------------------------------------------------------------------------------
 
 
 def test_at_the_bound_the_oldest_light_one_goes_then_the_oldest() -> None:
     bounds = Bounds(most_messages=4, most_bytes=100)
     peer = Peer("b", (HOST, 1))
-    for word, light in ((b"h1", False), (b"l1", True), (b"h2", False), (b"l2", True), (b"h3", False), (b"h4", False)):
+    for word, light in (
+        (b"h1", False),
+        (b"l1", True),
+        (b"h2", False),
+        (b"l2", True),
+        (b"h3", False),
+        (b"h4", False),
+    ):
         peer.add("b", word, light, bounds)
     assert [one.body for one in peer.queue if one.body] == [b"h1", b"h2", b"h3", b"h4"] and peer.lost == 2
     peer.add("b", b"h5", False, bounds)
@@ -234,6 +264,7 @@
 @pytest.mark.parametrize("reads", [False, True])
 def test_a_peer_that_does_not_read_or_answer_is_dropped_and_holds_up_nobody(reads: bool) -> None:
     """More than the bound is sent in each turn, so that something is lost however slow the turns are."""
+
     async def test() -> None:
         bounds = replace(SOON, most_bytes=200_000)
         async with pair(bounds=bounds) as (here, there), Silent(reads) as silent:
@@ -248,7 +279,11 @@
                 peer = here.links.peers["c"]
                 assert peer.count <= bounds.most_messages and peer.size <= bounds.most_bytes
             await until(lambda: len(there.got) == sent)
-            assert (here.links.peers["c"].lost > 0 or reads) and here.links.peers["b"].lost == 0 and not here.errors
+            assert (
+                (here.links.peers["c"].lost > 0 or reads)
+                and here.links.peers["b"].lost == 0
+                and not here.errors
+            )
 
     play(test)
 
@@ -318,7 +353,7 @@
         spoilt = bytearray(whole)
         for _ in range(draw.randrange(1, 4)):
             spoilt[draw.randrange(len(spoilt))] = draw.randrange(256)
-        read(bytes(spoilt[:draw.randrange(len(spoilt) + 1)]), "f", "a")
+        read(bytes(spoilt[: draw.randrange(len(spoilt) + 1)]), "f", "a")
     assert isinstance(read(whole, "f", "a"), Envelope)
 
 
--- a/tests/test_fleet_membership.py
+++ b/tests/test_fleet_membership.py
@@ -1,4 +1,5 @@
-"""Who lives, how a fleet is formed, and where its copies are: fleets of 3, 40 and 200 members in simulated time."""
+"""Who lives, how a fleet is formed, and where its copies are: fleets of 3, 40 and 200 members in simulated
+time."""
 
 from __future__ import annotations
 
@@ -45,7 +46,8 @@
 
 
 class Net:
-    """Members of any kind on a network that loses, delays and mixes up; frozen ones keep what comes for them."""
+    """Members of any kind on a network that loses, delays and mixes up; frozen ones keep what comes for
+    them."""
 
     def __init__(self, count: int, seed: int, kind: str = "membership") -> None:
         self.draw, self.now, self.kind = random.Random(seed), 0.0, kind
@@ -69,8 +71,10 @@
         draw, incarnation = random.Random(self.draw.random()), self.ids[name].partition("/")[2]
         hall = next(one.hall for one in self.members if one.name == name)
         self.nodes[name] = (
-            Membership(self.ids[name], hall, self.members, TIMES, draw, self.now) if self.kind == "membership" else
-            Founding(Setup("yard", name, incarnation, self.members), self.disk[name], draw, self.now))
+            Membership(self.ids[name], hall, self.members, TIMES, draw, self.now)
+            if self.kind == "membership"
+            else Founding(Setup("yard", name, incarnation, self.members), self.disk[name], draw, self.now)
+        )
         self.tick(name)
 
     def stop(self, name: str) -> None:
@@ -112,7 +116,9 @@
             if isinstance(event, Tick) and self.ticks.get(name) == self.now:
                 self.ticks[name] = -1.0
             if name in self.frozen:
-                if not isinstance(event, Tick) or not any(isinstance(one, Tick) for _, one in self.frozen[name]):
+                if not isinstance(event, Tick) or not any(
+                    isinstance(one, Tick) for _, one in self.frozen[name]
+                ):
                     self.frozen[name].append((who, event))
             elif isinstance(event, Store):
                 self.disk[name] = stored(self.disk[name], event)
@@ -133,8 +139,11 @@
 
     def buried(self, since: float = 0.0) -> set[str]:
         """Names that anybody has called dead."""
-        return {name_of(say.fields["who"]) for at, _, say in self.says
-                if at >= since and say.event == "fleet_member" and say.fields["state"] == "dead"}
+        return {
+            name_of(say.fields["who"])
+            for at, _, say in self.says
+            if at >= since and say.event == "fleet_member" and say.fields["state"] == "dead"
+        }
 
 
 def stored(saved: Saved, event: Store) -> Saved:
@@ -156,7 +165,8 @@
     return net
 
 
-# Who lives ------------------------------------------------------------------------------------------------------------
+# Who lives
+# ------------------------------------------------------------------------------------------------------------
 
 
 @pytest.mark.parametrize(("count", "within"), [(3, 5000.0), (40, 8000.0), (200, 12000.0)])
@@ -174,7 +184,9 @@
         assert net.now < 9000.0 + within, net.believed("m001")
         net.run(net.now + 50.0)
     assert net.buried() == {"m001"}
-    print(f"{count}: {mean:.2f} messages a second (most {most:.1f}), all know after {net.now - 9000.0:.0f} ms")
+    print(
+        f"{count}: {mean:.2f} messages a second (most {most:.1f}), all know after {net.now - 9000.0:.0f} ms"
+    )
 
 
 def flap(net: Net, until: float) -> set[str]:
@@ -219,14 +231,18 @@
     before = len(net.says)
     net.thaw("m001")
     net.run(net.now + 10000.0)
-    assert not [say for _, name, say in net.says[before:] if name == "m001" and say.fields.get("state") == "dead"]
+    assert not [
+        say for _, name, say in net.says[before:] if name == "m001" and say.fields.get("state") == "dead"
+    ]
     assert net.buried() <= {"m001"}
     assert net.believed("m001") == {"alive": 9}, "and it is among the living again"
     assert net.nodes["m001"].alive() == frozenset(net.ids.values())
 
 
 def test_a_thawed_process_begins_its_suspicions_anew() -> None:
-    me = Membership("a/1", "x", [Member("a", "x"), Member("b", "x"), Member("c", "x")], TIMES, random.Random(1), 0.0)
+    me = Membership(
+        "a/1", "x", [Member("a", "x"), Member("b", "x"), Member("c", "x")], TIMES, random.Random(1), 0.0
+    )
     me.handle(10.0, Received("c/1", Ping(1, "a/1", (Rumour("b/1", 1, 0, "c/1"),))))
     assert me.state_of("b") == "suspected"
     me.handle(60000.0, Tick())
@@ -263,7 +279,9 @@
     node = net.nodes["m000"]
     assert node.dead_for(net.now)[old] > 8000.0 and old not in node.alive()
     node.handle(net.now, Received(net.ids["m002"], Ping(1, "", (Rumour(old, 0, 99), Rumour(old, 2, 99)))))
-    assert node.state_of(net.ids["m001"]) == "alive" and old in node.dead_for(net.now), "no rumour brings it back"
+    assert node.state_of(net.ids["m001"]) == "alive" and old in node.dead_for(net.now), (
+        "no rumour brings it back"
+    )
 
 
 def test_leaving_is_no_loss_until_it_lasts() -> None:
@@ -280,12 +298,15 @@
     assert net.believed("m001") == {"alive": 4}
 
 
-# How a fleet is formed ------------------------------------------------------------------------------------------------
+# How a fleet is formed
+# ------------------------------------------------------------------------------------------------
 
 
 def records(net: Net) -> dict[str, Record]:
     """What stands on the disks."""
-    found = {name: read(saved.snapshot.body) for name, saved in net.disk.items() if saved.snapshot is not None}
+    found = {
+        name: read(saved.snapshot.body) for name, saved in net.disk.items() if saved.snapshot is not None
+    }
     return {name: record for name, record in found.items() if record is not None}
 
 
@@ -306,8 +327,13 @@
 
 
 @settings(max_examples=60, deadline=None, derandomize=True)
-@given(st.integers(0, 2**32), st.lists(st.tuples(st.sampled_from(["wipe", "restart", "down"]), st.integers(0, 3),
-                                                 st.floats(1.0, 1500.0)), max_size=14))
+@given(
+    st.integers(0, 2**32),
+    st.lists(
+        st.tuples(st.sampled_from(["wipe", "restart", "down"]), st.integers(0, 3), st.floats(1.0, 1500.0)),
+        max_size=14,
+    ),
+)
 def test_no_second_founding_while_a_founder_lives(seed: int, acts: list[tuple[str, int, float]]) -> None:
     net = Net(4, seed, "founding")
     net.delay = lambda a, b: None if net.draw.random() < 0.2 else net.draw.uniform(0.5, 400.0)
@@ -334,8 +360,11 @@
 
 def check_one_founding(net: Net) -> None:
     """Founders, as they are now, with their disks, belong to one founding."""
-    founders = {record.founding for name, record in records(net).items()
-                if net.ids[name] in {who for who, _ in record.members}}
+    founders = {
+        record.founding
+        for name, record in records(net).items()
+        if net.ids[name] in {who for who, _ in record.members}
+    }
     assert len(founders) <= 1
 
 
@@ -343,7 +372,9 @@
     setup = Setup("yard", "b", "1", (Member("a", "x"), Member("b", "x")))
     old = Record("yard", "01", "a/1", (("a/1", "x"), ("b/1", "x")), 8, 3)
     node = Founding(setup, Saved(), random.Random(1), 0.0)
-    assert [type(one) for one in node.handle(1.0, Received("a/1", WhoAreYou("x")))] == [Store], "the answer waits"
+    assert [type(one) for one in node.handle(1.0, Received("a/1", WhoAreYou("x")))] == [Store], (
+        "the answer waits"
+    )
     assert node.handle(2.0, Received("a/2", WhoAreYou("x")))[0].group == FOUNDING  # type: ignore[union-attr]
     assert node.handle(3.0, Stored(FOUNDING, 1)) == []
     assert node.handle(3.0, Stored(FOUNDING, 2)) == [Send("a/2", IAm("x", b""))]
@@ -357,13 +388,16 @@
     other = msgspec.msgpack.encode(Record("mill", "01", "a/1", (("a/1", "x"), ("b/1", "x")), 8, 3))
     node = Founding(setup, Saved(), random.Random(1), 0.0)
     said = node.handle(1.0, Received("a/1", Found(other)))
-    assert [one.fields["error"] for one in said if isinstance(one, Say)] == ["another-fleet"] and len(said) == 1
+    assert [one.fields["error"] for one in said if isinstance(one, Say)] == ["another-fleet"] and len(
+        said
+    ) == 1
     assert node.handle(1.0, Received("a/1", Found(b"\xc1")))[0].fields["error"] == "bad-frame"  # type: ignore[union-attr]
     kept = Founding(setup, Saved(snapshot=Snapshot(1, 1, Config(()), other)), random.Random(1), 0.0)
     assert isinstance(kept.error, AnotherFleet) and kept.record is None
 
 
-# Where the copies are -------------------------------------------------------------------------------------------------
+# Where the copies are
+# -------------------------------------------------------------------------------------------------
 
 
 def test_keys_spread_and_one_group_more_moves_few() -> None:
@@ -376,7 +410,9 @@
 
 
 def record_of(halls: list[str], groups: int = 8, copies: int = 3) -> Record:
-    return Record("yard", "01", "m000/1", tuple((f"m{at:03}/1", hall) for at, hall in enumerate(halls)), groups, copies)
+    return Record(
+        "yard", "01", "m000/1", tuple((f"m{at:03}/1", hall) for at, hall in enumerate(halls)), groups, copies
+    )
 
 
 @settings(max_examples=60, deadline=None, derandomize=True)
@@ -411,8 +447,19 @@
         self.behind: tuple[Id, ...] = ()
 
     def view(self) -> View:
-        return View(self.now, 1e12 + self.now, "m000/1", 0.0, TIMES, frozenset(self.alive.values()),
-                    {who: self.now - at for who, at in self.dead.items()}, self.halls, {}, self.placing.voters(), {})
+        return View(
+            self.now,
+            1e12 + self.now,
+            "m000/1",
+            0.0,
+            TIMES,
+            frozenset(self.alive.values()),
+            {who: self.now - at for who, at in self.dead.items()},
+            self.halls,
+            {},
+            self.placing.voters(),
+            {},
+        )
 
     def step(self) -> None:
         """A tenth of a second."""
@@ -429,8 +476,11 @@
             if change is not None:
                 learners = tuple(who for who in config.learners if who != change.who)
                 voters = tuple(who for who in config.voters if who != change.who)
-                made = {"learn": Config(voters, (*learners, change.who)), "remove": Config(voters, learners),
-                        "promote": Config((*voters, change.who), learners)}[change.act]
+                made = {
+                    "learn": Config(voters, (*learners, change.who)),
+                    "remove": Config(voters, learners),
+                    "promote": Config((*voters, change.who), learners),
+                }[change.act]
                 assert sum(who in alive for who in made.voters) >= made.majority()
                 self.config[group] = made
                 self.number[group] += 1
@@ -450,7 +500,11 @@
             before = self.steps, self.placing.begun
             self.step()
             waiting = any(self.now - at < TIMES.repair_after_ms + 200.0 for at in self.dead.values())
-            quiet = 0 if waiting or self.placing.moves or (self.steps, self.placing.begun) != before else quiet + 1
+            quiet = (
+                0
+                if waiting or self.placing.moves or (self.steps, self.placing.begun) != before
+                else quiet + 1
+            )
         assert quiet == 3, self.placing.missing(self.view())
 
     def kill(self, name: str) -> Id:
@@ -479,7 +533,9 @@
             fleet.step()
             for group, move in fleet.placing.moves.items():
                 voters = {*fleet.config[group].voters, move.new} - {move.lost}
-                assert len({fleet.halls[name_of(who)] for who in voters}) == 2, "at no moment in one hall alone"
+                assert len({fleet.halls[name_of(who)] for who in voters}) == 2, (
+                    "at no moment in one hall alone"
+                )
         fleet.settle()
         assert fleet.placing.missing(fleet.view()) == []
         for group in held:
@@ -551,8 +607,11 @@
     for _ in range(100):
         fleet.step()
     assert fleet.config["g0"].voters == voters, "it can take nobody in"
-    assert all(not set(voters[:2]) & set(config.voters) for config in fleet.config.values()
-               if sum(who in fleet.alive.values() for who in config.voters) >= 2)
+    assert all(
+        not set(voters[:2]) & set(config.voters)
+        for config in fleet.config.values()
+        if sum(who in fleet.alive.values() for who in config.voters) >= 2
+    )
     fleet = Groups(["a", "b"] * 3)
     fleet.kill(name_of(fleet.config["g0"].voters[0]))
     fleet.behind = tuple(fleet.alive.values())
@@ -600,8 +659,8 @@
 @settings(max_examples=25, deadline=None, derandomize=True)
 @given(st.integers(0, 2**32))
 def test_whatever_goes_and_comes_the_copies_get_whole_and_stay_live(seed: int) -> None:
-    """One loss at a time, each after the copies are whole or the last has come back: no group ever loses its majority
-    (checked in `Groups.step` at each change)."""
+    """One loss at a time, each after the copies are whole or the last has come back: no group ever loses
+    its majority (checked in `Groups.step` at each change)."""
     draw = random.Random(seed)
     fleet = Groups([draw.choice("ab") for _ in range(draw.randint(4, 7))], groups=4)
     fleet.settle(120.0)
@@ -621,13 +680,16 @@
     before, voters = fleet.placing.dump(), fleet.config["g0"].voters
     other = next(who for who in fleet.alive.values() if who not in voters)
     for command in (
-            Enrol(id="1", name="m", who="n/1", hall="a"), Enrol(id="1", name="m", who="m/", hall="a"),
-            Replace(id="2", group="g0", lost="", new="", most=2),
-            Replace(id="2", group="nix", lost="", new="a/1", most=2),
-            Replace(id="3", group="g0", lost=other, new=voters[0], most=2),
-            Replace(id="4", group="g0", lost=voters[0], new="m009/1", most=2),
-            Replace(id="5", group="g0", lost=voters[0], new=other, most=0),
-            Moved(id="6", group="g0", voters=(), number=1), Forgo(id="7", group="g0", new="x", why="")):
+        Enrol(id="1", name="m", who="n/1", hall="a"),
+        Enrol(id="1", name="m", who="m/", hall="a"),
+        Replace(id="2", group="g0", lost="", new="", most=2),
+        Replace(id="2", group="nix", lost="", new="a/1", most=2),
+        Replace(id="3", group="g0", lost=other, new=voters[0], most=2),
+        Replace(id="4", group="g0", lost=voters[0], new="m009/1", most=2),
+        Replace(id="5", group="g0", lost=voters[0], new=other, most=0),
+        Moved(id="6", group="g0", voters=(), number=1),
+        Forgo(id="7", group="g0", new="x", why=""),
+    ):
         assert fleet.placing.apply(0.0, command).error is not None
         assert fleet.placing.dump() == before
     assert isinstance(fleet.placing.apply(0.0, Moved(id="6", group="g0", voters=(), number=1)).error, BadCall)
@@ -655,7 +717,9 @@
 
 
 def test_the_suspect_is_told_first_and_refutes() -> None:
-    me = Membership("a/1", "x", [Member("a", "x"), Member("b", "x"), Member("c", "x")], TIMES, random.Random(1), 0.0)
+    me = Membership(
+        "a/1", "x", [Member("a", "x"), Member("b", "x"), Member("c", "x")], TIMES, random.Random(1), 0.0
+    )
     gossip = tuple(Rumour(f"{name}/1", state, 0, "c/1") for name, state in (("c", 0), ("b", 1)))
     me.handle(10.0, Received("c/1", Ping(1, "a/1", gossip)))
     for _ in range(20):  # also long after the rumour was told often enough
@@ -681,15 +745,21 @@
 def test_a_refutation_that_was_lost_is_told_again_whenever_somebody_still_believes_the_rumour() -> None:
     me = Membership("b/1", "x", [Member("a", "x"), Member("b", "x")], TIMES, random.Random(1), 0.0)
     for turn in range(60):  # also long after it was told often enough
-        answers: list[Any] = me.handle(10.0 + turn, Received("a/1", Ping(turn, "b/1", (Rumour("b/1", 2, 0, "a/1"),))))
+        answers: list[Any] = me.handle(
+            10.0 + turn, Received("a/1", Ping(turn, "b/1", (Rumour("b/1", 2, 0, "a/1"),)))
+        )
         ack = next(one.message for one in answers if isinstance(one, Send) and isinstance(one.message, Ack))
         assert Rumour("b/1", 0, 1) in ack.gossip
 
 
 def test_two_that_know_only_each_others_lost_ids_find_each_other() -> None:
     """After all founders were lost in turn a newcomer knows none of those that live, nor they it."""
-    made = {f"{name}/2": Membership(f"{name}/2", "x", [Member("a", "x"), Member("b", "x")], TIMES,
-                                    random.Random(1), 0.0) for name in "ab"}
+    made = {
+        f"{name}/2": Membership(
+            f"{name}/2", "x", [Member("a", "x"), Member("b", "x")], TIMES, random.Random(1), 0.0
+        )
+        for name in "ab"
+    }
     for me in made.values():
         me.know(0.0, ["a/1", "b/1"])
     for now in range(0, 60_000, 25):
--- a/tests/test_fleet_planted.py
+++ b/tests/test_fleet_planted.py
@@ -1,4 +1,5 @@
-"""Faults planted into the real code, each found by name within a stated number of drawn runs: the checks can fail."""
+"""Faults planted into the real code, each found by name within a stated number of drawn runs: the checks
+can fail."""
 
 from __future__ import annotations
 
@@ -37,7 +38,8 @@
 
 
 def unstored_vote(patch: pytest.MonkeyPatch) -> None:
-    """A vote is told before it is stored, and the code's own check sleeps: the referee compares with the disk."""
+    """A vote is told before it is stored, and the code's own check sleeps: the referee compares with the
+    disk."""
     whole = Replica._tell_stored
 
     def told(self: Replica, to: str, message: Any) -> None:
@@ -79,14 +81,17 @@
     whole = Disk.start
 
     def start(self: Disk, life: int) -> dict[str, Saved]:
-        return {name: replace(saved, term=saved.entries[-1].term if saved.entries else 0, vote="")
-                for name, saved in whole(self, life).items()}
+        return {
+            name: replace(saved, term=saved.entries[-1].term if saved.entries else 0, vote="")
+            for name, saved in whole(self, life).items()
+        }
 
     patch.setattr(Disk, "start", start)
 
 
 def lying_disk(patch: pytest.MonkeyPatch) -> None:
     """A store says that it is done when it has begun."""
+
     def sync(self: Disk) -> None:
         self._under_way, self._asked = self._asked, []
         for store in self._under_way:
@@ -124,6 +129,7 @@
 
 def reads_alone(patch: pytest.MonkeyPatch) -> None:
     """Who believes that it leads answers reads at once, and goes on believing it unheard."""
+
     def read(self: Replica, now: float, token: str) -> None:
         error = self._refusal(0)
         self._out.append(Done(token, error))
@@ -147,7 +153,11 @@
     whole = Replica._take
 
     def take(self: Replica, entries: tuple[Any, ...]) -> bool:
-        if entries and self._log.base < entries[0].index <= self._log.last and not self._cut(entries[0].index):
+        if (
+            entries
+            and self._log.base < entries[0].index <= self._log.last
+            and not self._cut(entries[0].index)
+        ):
             return False
         return whole(self, entries)
 
@@ -162,10 +172,13 @@
 def snapshot_without_ids(patch: pytest.MonkeyPatch) -> None:
     """A snapshot leaves one promise out."""
     from fleet.promises import Promises
+
     patch.setattr(Promises, "dump", lambda self: dict(list(self._kept.items())[1:]))
 
 
 FEW = {"copies": 3, "groups": 2, "keys": 3, "proposals": 60.0}
+
+
 def old_incarnation(patch: pytest.MonkeyPatch) -> None:
     """Who comes back without its store goes on as who it was."""
     whole = Disk.wipe
@@ -219,6 +232,7 @@
 
 def opened_before_granted(patch: pytest.MonkeyPatch) -> None:
     """A gateway opens what it has asked for."""
+
     def may_open(self: Keeper, now: float, server: str) -> bool:
         return self.pools[server].open < self.pools[server].need
 
@@ -242,27 +256,43 @@
     "commit by counting an older term": Planted(older_terms, ("OWN_TERM",)),
     "two votes in a term": Planted(votes_twice, ("VOTE_ONCE",), ("lossless", "links")),
     "vote forgotten at a start": Planted(forgotten_vote, ("two-votes",), ("restless",), 24, 3),
-    "term forgotten at a start": Planted(forgotten_term, ("term-forgotten", "two-votes"), ("restless",), 24, 3),
+    "term forgotten at a start": Planted(
+        forgotten_term, ("term-forgotten", "two-votes"), ("restless",), 24, 3
+    ),
     "a store that lies": Planted(lying_disk, ("acknowledged-not-stored", "vote-not-stored")),
     "applied twice": Planted(applied_twice, ("APPLIED_ONCE",)),
     "a repeat taken again": Planted(ids_forgotten, ("twice",)),
     "reads without a round": Planted(reads_alone, ("not-linear",), ("storm",), 24, 3, FEW),
-    "votes for short logs": Planted(short_logs, ("COMMITTED_STAYS", "lost", "logs-differ"), ("storm",), 24, 3,
-                                FEW),
+    "votes for short logs": Planted(
+        short_logs, ("COMMITTED_STAYS", "lost", "logs-differ"), ("storm",), 24, 3, FEW
+    ),
     "a late append cuts": Planted(cuts_all, ("COMMITTED_STAYS",), ("links",)),
-    "an old incarnation votes": Planted(old_incarnation, ("two-votes", "lost", "COMMITTED_STAYS"), ("wild",), 24, 3),
-    "a learner counted as a voter": Planted(learners_count, ("committed-not-stored",), ("disks",), 6, 5,
-                                            {"proposals": 60.0}),
+    "an old incarnation votes": Planted(
+        old_incarnation, ("two-votes", "lost", "COMMITTED_STAYS"), ("wild",), 24, 3
+    ),
+    "a learner counted as a voter": Planted(
+        learners_count, ("committed-not-stored",), ("disks",), 6, 5, {"proposals": 60.0}
+    ),
     "a minority commits": Planted(minority, ("committed-not-stored", "two-leaders", "ONE_LEADER", "lost")),
     "a lease without clock margin": Planted(no_clock_margin, ("contract_over",), ("frozen",), 12),
     "a part freed at silence": Planted(silence_frees, ("contract_over",), ("frozen",), 6),
-    "a lost machine's connections counted closed": Planted(no_idle_time, ("connections-over",), ("drains",), 24, 5),
+    "a lost machine's connections counted closed": Planted(
+        no_idle_time, ("connections-over",), ("drains",), 24, 5
+    ),
     "connections returned too soon": Planted(returned_too_soon, ("connections-over",), ("drains",), 6, 5),
-    "connections opened before granted": Planted(opened_before_granted, ("OPEN_UNDER_LEASE",), ("drains",), 3),
+    "connections opened before granted": Planted(
+        opened_before_granted, ("OPEN_UNDER_LEASE",), ("drains",), 3
+    ),
     "a wave without waiting for copies": Planted(unwatched_copies, ("wave-before-copies",), ("gone",), 12),
     "a gateway drained again": Planted(any_round, ("ROLL_FORWARD", "drained-twice"), ("drains",), 3, 3),
-    "a snapshot that lacks a promise": Planted(snapshot_without_ids, ("lost", "not-linear", "twice"), ("storm",), 24, 3,
-                                              {**FEW, "keys": 24, "snapshot_entries": 20}),
+    "a snapshot that lacks a promise": Planted(
+        snapshot_without_ids,
+        ("lost", "not-linear", "twice"),
+        ("storm",),
+        24,
+        3,
+        {**FEW, "keys": 24, "snapshot_entries": 20},
+    ),
 }
 
 
@@ -273,7 +303,10 @@
     at = 1500.0
     while at < 12_000.0:
         who = ((rng.randint(1, 3),),)
-        faults += [Fault(at, "kill", "gateway", who), Fault(at + rng.uniform(1.0, 60.0), "start", "gateway", who)]
+        faults += [
+            Fault(at, "kill", "gateway", who),
+            Fault(at + rng.uniform(1.0, 60.0), "start", "gateway", who),
+        ]
         at += rng.uniform(30.0, 500.0)
     faults.sort(key=lambda fault: fault.at_ms)
     return Plan(seed, 3, groups=8, length_ms=12_000.0, proposals=10.0, faults=tuple(faults))
@@ -286,16 +319,31 @@
     for at in range(7000, 17_000, 3200):
         who = ((rng.randint(1, 3),),)
         faults += [Fault(at, "freeze", "gateway", who), Fault(at + 2800.0, "thaw", "gateway", who)]
-    return Plan(seed, 3, groups=2, length_ms=17_000.0, proposals=1.0, drift=0.2, faults=tuple(faults),
-                contracts=(ContractText("c", (1, 3), 120.0, 20.0, 5000.0, 60_000.0),))
+    return Plan(
+        seed,
+        3,
+        groups=2,
+        length_ms=17_000.0,
+        proposals=1.0,
+        drift=0.2,
+        faults=tuple(faults),
+        contracts=(ContractText("c", (1, 3), 120.0, 20.0, 5000.0, 60_000.0),),
+    )
 
 
 def gone(seed: int) -> Plan:
     """A roll is asked for while a lost machine's copies are still missing."""
     who = ((Random(seed).randint(1, 5),),)
-    return Plan(seed, 5, length_ms=10_000.0, proposals=5.0, connections=10, servers=1,
-                faults=(Fault(2500.0, "lose", "gateway", who), Fault(9500.0, "start", "gateway", who)),
-                rolls=(RollText("r", 4500.0, tuple(n for n in range(1, 6) if n != who[0][0])),))
+    return Plan(
+        seed,
+        5,
+        length_ms=10_000.0,
+        proposals=5.0,
+        connections=10,
+        servers=1,
+        faults=(Fault(2500.0, "lose", "gateway", who), Fault(9500.0, "start", "gateway", who)),
+        rolls=(RollText("r", 4500.0, tuple(n for n in range(1, 6) if n != who[0][0])),),
+    )
 
 
 def plans(planted: Planted) -> Iterable[Plan]:
--- a/tests/test_fleet_pools.py
+++ b/tests/test_fleet_pools.py
@@ -1,4 +1,5 @@
-"""Server links under leases, on real sockets: the group that grants stands in the test, the pools are the gateway's."""
+"""Server links under leases, on real sockets: the group that grants stands in the test, the pools are the
+gateway's."""
 
 from __future__ import annotations
 
@@ -33,7 +34,18 @@
 from fleet.state import GroupState
 from fleet.timings import Timings
 from martenstep.interface import Verdict
-from tests.standins import HOST, Backend, DiameterServer, Discovery, config, connect, entry, gateway, query, roster
+from tests.standins import (
+    HOST,
+    Backend,
+    DiameterServer,
+    Discovery,
+    config,
+    connect,
+    entry,
+    gateway,
+    query,
+    roster,
+)
 from tests.test_fleet_service import section
 from tests.test_front import play
 
@@ -56,11 +68,30 @@
         self.node = Node(setup, {}, Random(1), 0.0, 0.0, self.rules)
         self.lease = lease = self.pools.lease("s")
         assert lease is not None
-        self.link: Any = DiameterServerLink(
-            (HOST, port), self.loop, boot_ms, me=Identity("g", "r", HOST, 1), services={},
-            connect_ms=PATIENT_MS, idle_ms=30_000.0, watchdog_s=30.0, lease=lease) if diameter else RespServerLink(
-            (HOST, port), self.loop, boot_ms, report_names=(), connect_ms=PATIENT_MS, idle_ms=30_000.0, most=16,
-            lease=lease)
+        self.link: Any = (
+            DiameterServerLink(
+                (HOST, port),
+                self.loop,
+                boot_ms,
+                me=Identity("g", "r", HOST, 1),
+                services={},
+                connect_ms=PATIENT_MS,
+                idle_ms=30_000.0,
+                watchdog_s=30.0,
+                lease=lease,
+            )
+            if diameter
+            else RespServerLink(
+                (HOST, port),
+                self.loop,
+                boot_ms,
+                report_names=(),
+                connect_ms=PATIENT_MS,
+                idle_ms=30_000.0,
+                most=16,
+                lease=lease,
+            )
+        )
         lease.link = self.link
         self.ends: list[End] = []
         self.asking = 0
@@ -85,8 +116,14 @@
     def ask(self, deadline_ms: float = 2 * PATIENT_MS) -> Execution:
         """One attempt."""
         now = boot_ms()
-        made = Execution(Query(f"{len(self.ends):016x}", "c", "p", ord(self.name), deadline_ms, 1.0, 1, safe=True), 0, 1,
-                         now, now + deadline_ms, self.ended)
+        made = Execution(
+            Query(f"{len(self.ends):016x}", "c", "p", ord(self.name), deadline_ms, 1.0, 1, safe=True),
+            0,
+            1,
+            now,
+            now + deadline_ms,
+            self.ended,
+        )
         self.link.start(made)
         return made
 
@@ -115,8 +152,13 @@
             for gate in self.gates:
                 if gate.pools.keeper is not None:
                     for command in gate.pools.poll(now, now):
-                        gate.pools.answered(boot_ms(), command, NoLeader("g0", "cut off") if gate.name in self.cut
-                                            else self.part.apply(now, command))
+                        gate.pools.answered(
+                            boot_ms(),
+                            command,
+                            NoLeader("g0", "cut off")
+                            if gate.name in self.cut
+                            else self.part.apply(now, command),
+                        )
             for command in self.part.work(View(now, now, "g", 0.0, TIMINGS, frozenset(), {}, {}, {}, {}, {})):
                 self.part.apply(now, command)
             await asyncio.sleep(0.005)
@@ -136,7 +178,7 @@
         self.by[reader] = ""
         self.most = max(self.most, len(self.by))
         try:
-            while (head := await reader.read(4096)):
+            while head := await reader.read(4096):
                 self.by[reader] = chr(int(head.split(b"\r\n")[4], 16))
                 if not self.deaf:
                     await asyncio.sleep(0.004)
@@ -203,7 +245,9 @@
     async def test() -> None:
         async with Backend() as node, Discovery(entry("s", node.port)) as list_:
             operators = Operators(fleet=section(tmp_path, servers=Servers(connections=MOST)))
-            made = replace(config(list_.port, None, roster(entry("s", node.port))), name="a", operators=operators)
+            made = replace(
+                config(list_.port, None, roster(entry("s", node.port))), name="a", operators=operators
+            )
             async with gateway(made, lambda: time.time() * 1000.0) as app:
                 reader, writer = await connect(app.address)
                 writer.write(query("r1", d=300, plan="free"))
@@ -245,7 +289,9 @@
                 async with gates(SimpleNamespace(port=port), "a") as (_, a):
                     a.pools.idle_ms = 1e7
                     attempt = a.ask()
-                    await soon(lambda: a.link._waiting)  # for the lease; what is dialled under it is given up soon
+                    await soon(
+                        lambda: a.link._waiting
+                    )  # for the lease; what is dialled under it is given up soon
                     a.haste()
                     await soon(lambda: a.open == 1)
                     attempt.abandon(Verdict.CANCELLED)
@@ -273,8 +319,10 @@
 @pytest.mark.parametrize("diameter", [False, True])
 def test_a_process_that_was_frozen_past_its_lease_writes_nothing_on_what_is_open(diameter: bool) -> None:
     async def test() -> None:
-        async with (DiameterServer() if diameter else Counted()) as server, gates(
-                server, "a", diameter=diameter) as (_, a):
+        async with (
+            DiameterServer() if diameter else Counted() as server,
+            gates(server, "a", diameter=diameter) as (_, a),
+        ):
             a.ask()
             await soon(lambda: a.ends)
             a.pools.now = lambda: boot_ms() + 1e5
@@ -295,9 +343,22 @@
 
             def stands(stand: str, **more: Any) -> None:
                 (read,) = [one for one in rolled.poll(boot_ms() + 1e6, 0.0) if isinstance(one, RollRead)]
-                rolled.answered(boot_ms(), read, Applied({
-                    "roll": "r", "stand": stand, "round": 1, "told": "", "process": rolled.process, "read_ms": 0.0,
-                    "grow": 1.0, **more}))
+                rolled.answered(
+                    boot_ms(),
+                    read,
+                    Applied(
+                        {
+                            "roll": "r",
+                            "stand": stand,
+                            "round": 1,
+                            "told": "",
+                            "process": rolled.process,
+                            "read_ms": 0.0,
+                            "grow": 1.0,
+                            **more,
+                        }
+                    ),
+                )
 
             assert a.open == 1  # idle, and kept
             stands("GRANTING", told="ready")
@@ -330,7 +391,9 @@
         for server in ("gone", "used"):
             group.part.apply(0.0, Limit(id=server, server=server, most=MOST, idle_ms=IDLE_MS))
         other = process("B/1", "b", "1")
-        group.part.apply(0.0, ConnLeases(id="x", holder=other, bucket=bucket("used"), asks=(Ask("used", 0, 0, 1),)))
+        group.part.apply(
+            0.0, ConnLeases(id="x", holder=other, bucket=bucket("used"), asks=(Ask("used", 0, 0, 1),))
+        )
         now = 0.0
         gate.pools.listed(["s"])  # which nobody uses
         while now <= GONE_MS:
