--- a/tests/test_fleet_replica.py
+++ b/tests/test_fleet_replica.py
@@ -1,4 +1,5 @@
-"""Replicas in a small simulated network: loss, delay, cuts, crashes, lost disks, freezes; and planted faults."""
+"""Replicas in a small simulated network: loss, delay, cuts, crashes, lost disks, freezes; and planted
+faults."""
 
 from __future__ import annotations
 
@@ -11,7 +12,15 @@
 import msgspec
 import pytest
 
-from fleet.errors import Crowded, FleetError, InvariantBroken, NoLeader, StoreFailed, UnknownOutcome, WrongState
+from fleet.errors import (
+    Crowded,
+    FleetError,
+    InvariantBroken,
+    NoLeader,
+    StoreFailed,
+    UnknownOutcome,
+    WrongState,
+)
 from fleet.events import (
     Change,
     Done,
@@ -91,8 +100,11 @@
             kept = tuple(one for one in saved.entries if one.index < record.entries[0].index)
             saved = replace(saved, entries=kept + record.entries)
         elif isinstance(record, Snapshot):
-            saved = replace(saved, snapshot=record,
-                            entries=tuple(one for one in saved.entries if one.index > record.index))
+            saved = replace(
+                saved,
+                snapshot=record,
+                entries=tuple(one for one in saved.entries if one.index > record.index),
+            )
     return saved
 
 
@@ -106,7 +118,9 @@
         self.history: dict[int, bytes] = {}
         self.leaders: dict[int, Id] = {}
         self.cut: set[tuple[Id, Id]] = set()
-        self.asked: dict[str, tuple[str, Id, int, int]] = {}  # open calls: kind, at whom, its life, acknowledged before
+        self.asked: dict[
+            str, tuple[str, Id, int, int]
+        ] = {}  # open calls: kind, at whom, its life, acknowledged before
         self.answers: dict[str, Any] = {}
         self.acked: dict[str, int] = {}
         self.lost: Callable[[Id, Id, Any], bool] = lambda sender, to, message: False
@@ -125,8 +139,17 @@
     def start(self, site: Site) -> None:
         site.life += 1
         site.machine, site.stores, site.backlog, site.frozen = Kept(self), [], [], False
-        site.replica = self.kind("g", site.me, site.saved, site.machine, TIMINGS, random.Random(self.draw.random()),
-                                 Invariants(), self.now * site.rate, site.config)
+        site.replica = self.kind(
+            "g",
+            site.me,
+            site.saved,
+            site.machine,
+            TIMINGS,
+            random.Random(self.draw.random()),
+            Invariants(),
+            self.now * site.rate,
+            site.config,
+        )
         self.tick(site)
 
     def at(self, ms: float, act: Callable[[], None]) -> None:
@@ -165,6 +188,7 @@
         def act() -> None:
             if site.life == life and replica.due == due:
                 self.post(site, Tick())
+
         self.at(max(due / site.rate - self.now, 0.0) + 0.01, act)
 
     def carry_out(self, site: Site, effects: list[Effect]) -> None:
@@ -175,7 +199,11 @@
             elif isinstance(effect, Store):
                 site.stores.append(effect)
                 if not site.hold_store:
-                    delay = self.draw.uniform(0.5, 12.0 if self.draw.random() < 0.9 else 300.0) if self.wild else 1.0
+                    delay = (
+                        self.draw.uniform(0.5, 12.0 if self.draw.random() < 0.9 else 300.0)
+                        if self.wild
+                        else 1.0
+                    )
                     self.at(delay, lambda: self.stored(site, life))
             elif isinstance(effect, Done):
                 self.done(site, effect.token, effect.result)
@@ -195,7 +223,11 @@
         for _ in range(copies):
             delay = 1.0
             if self.wild:
-                delay = self.draw.uniform(0.5, 8.0) if self.draw.random() < 0.97 else self.draw.uniform(8.0, 900.0)
+                delay = (
+                    self.draw.uniform(0.5, 8.0)
+                    if self.draw.random() < 0.97
+                    else self.draw.uniform(8.0, 900.0)
+                )
             self.at(delay, lambda: self.arrive(sender, to, message))
 
     def arrive(self, sender: Id, to: Id, message: Any) -> None:
@@ -251,8 +283,11 @@
 
     def say(self, event: Propose | Read | Change, site: Site | None = None, ms: float = 3000.0) -> Any:
         """Make a call and run until it has its answer."""
-        token = self.call("propose" if isinstance(event, Propose) else type(event).__name__.lower(), event,
-                          site or self.lead())
+        token = self.call(
+            "propose" if isinstance(event, Propose) else type(event).__name__.lower(),
+            event,
+            site or self.lead(),
+        )
         assert self.run(ms, lambda: token in self.answers)
         return self.answers[token]
 
@@ -278,9 +313,12 @@
 
 
 class Storm:
-    """Random load and faults on a world; `wipe_as_was`: a lost disk comes back under the same Id (a planted fault)."""
+    """Random load and faults on a world; `wipe_as_was`: a lost disk comes back under the same Id (a
+    planted fault)."""
 
-    def __init__(self, seed: int, kind: type[Replica] = Replica, wipe_as_was: bool = False, ms: float = 5000.0) -> None:
+    def __init__(
+        self, seed: int, kind: type[Replica] = Replica, wipe_as_was: bool = False, ms: float = 5000.0
+    ) -> None:
         self.draw = random.Random(seed)
         self.world = World(seed, 3 if self.draw.random() < 0.7 else 5, kind, True)
         self.wipe_as_was, self.end = wipe_as_was, ms
@@ -323,13 +361,17 @@
         if self.replacing:
             change = replace(self.replacing[0], token=self.token())
             config, act = leader.replica.config, change.act
-            if ((act == "learn" and change.who in config.learners) or (act == "promote" and change.who in config.voters)
-                    or (act == "remove" and change.who not in config.voters)) and (
-                        leader.replica.commit >= leader.replica.config_index):
+            if (
+                (act == "learn" and change.who in config.learners)
+                or (act == "promote" and change.who in config.voters)
+                or (act == "remove" and change.who not in config.voters)
+            ) and (leader.replica.commit >= leader.replica.config_index):
                 self.replacing.pop(0)
             else:
                 world.call("change", change, leader)
-                if self.draw.random() < 0.3 and len(self.replacing) > 1:  # the next one at once has to be refused
+                if (
+                    self.draw.random() < 0.3 and len(self.replacing) > 1
+                ):  # the next one at once has to be refused
                     world.call("change", replace(self.replacing[-1], token=self.token()), leader)
         elif self.draw.random() < 0.05:
             world.post(leader, HandOver())
@@ -348,8 +390,12 @@
             for down in (site,) if kind == "crash" else tuple(world.sites.values()):
                 if down.replica is not None:
                     world.crash(down)
-                    world.at(draw.uniform(10.0, 900.0), lambda down=down: (  # type: ignore[misc]
-                        world.start(down) if down.replica is None and down.me in world.sites else None))
+                    world.at(
+                        draw.uniform(10.0, 900.0),
+                        lambda down=down: (  # type: ignore[misc]
+                            world.start(down) if down.replica is None and down.me in world.sites else None
+                        ),
+                    )
         elif kind == "freeze" and not site.frozen:
             site.frozen = True
             world.at(draw.uniform(50.0, 1500.0), lambda: world.thaw(site) if site.frozen else None)
@@ -370,8 +416,13 @@
         """Lose a disk, where all other copies are whole."""
         world = self.world
         leader, most = world.leader(), max(world.acked.values(), default=0)
-        if world.now >= self.end or self.replacing or leader is None or leader.replica is None or (
-                site.me not in world.sites or site.me not in leader.replica.config.voters):
+        if (
+            world.now >= self.end
+            or self.replacing
+            or leader is None
+            or leader.replica is None
+            or (site.me not in world.sites or site.me not in leader.replica.config.voters)
+        ):
             return
         for who in leader.replica.config.voters:
             other = world.sites[who]
@@ -387,7 +438,11 @@
         del world.sites[site.me]
         name, _, number = site.me.partition("/")
         new = world.add(f"{name}/{int(number) + 1}", None)
-        self.replacing = [Change("", "learn", new.me), Change("", "promote", new.me), Change("", "remove", site.me)]
+        self.replacing = [
+            Change("", "learn", new.me),
+            Change("", "promote", new.me),
+            Change("", "remove", site.me),
+        ]
 
     def run(self) -> None:
         world = self.world
@@ -398,7 +453,9 @@
             leader = world.leader()
             if leader is None or leader.replica is None or self.replacing or world.asked:
                 continue
-            if not isinstance(world.say(Propose(self.token(), f"c{self.tokens}".encode()), leader), FleetError):
+            if not isinstance(
+                world.say(Propose(self.token(), f"c{self.tokens}".encode()), leader), FleetError
+            ):
                 break
         else:
             raise Found(f"nothing more is taken: {self.replacing} {world.asked}")
@@ -406,7 +463,8 @@
         world.check_all()
 
 
-# Random runs ----------------------------------------------------------------------------------------------------------
+# Random runs
+# ----------------------------------------------------------------------------------------------------------
 
 
 @pytest.mark.parametrize("block", range(8))
@@ -420,12 +478,15 @@
             raise AssertionError(f"seed {seed}: {error}") from error
         acked += len(storm.world.acked)
         wiped += sum(not who.endswith("/1") for who in storm.world.sites)
-        compacted += sum(site.saved.snapshot is not None and site.saved.snapshot.index > 0
-                         for site in storm.world.sites.values())
+        compacted += sum(
+            site.saved.snapshot is not None and site.saved.snapshot.index > 0
+            for site in storm.world.sites.values()
+        )
     assert acked > 25 * 20 and wiped > 2 and compacted > 50  # the runs do what they are for
 
 
-# Single cases ---------------------------------------------------------------------------------------------------------
+# Single cases
+# ---------------------------------------------------------------------------------------------------------
 
 
 def member(world: World, who: Id) -> Replica:
@@ -450,12 +511,18 @@
 
 def stored(replica: Replica, now: float, effects: list[Effect]) -> list[Effect]:
     """Answer the stores among the effects; gives what comes of it."""
-    return [made for effect in effects if isinstance(effect, Store)
-            for made in replica.handle(now, Stored("g", effect.seq))]
+    return [
+        made
+        for effect in effects
+        if isinstance(effect, Store)
+        for made in replica.handle(now, Stored("g", effect.seq))
+    ]
 
 
 def sent(effects: list[Effect], kind: type[Any]) -> list[Any]:
-    return [effect.message for effect in effects if isinstance(effect, Send) and isinstance(effect.message, kind)]
+    return [
+        effect.message for effect in effects if isinstance(effect, Send) and isinstance(effect.message, kind)
+    ]
 
 
 THREE = Config(("a/1", "b/1", "c/1"))
@@ -463,8 +530,12 @@
 
 def test_figure_8_an_older_terms_entry_is_not_committed_by_counting() -> None:
     """The paper's (c): an entry of term 2 lies on a majority, and the leader of term 4 may not count it."""
-    founded = Saved(3, "", Snapshot(0, 0, THREE, msgspec.msgpack.encode([])),
-                    (Entry(1, 1, COMMAND, b"x"), Entry(2, 2, COMMAND, b"y")))
+    founded = Saved(
+        3,
+        "",
+        Snapshot(0, 0, THREE, msgspec.msgpack.encode([])),
+        (Entry(1, 1, COMMAND, b"x"), Entry(2, 2, COMMAND, b"y")),
+    )
     replica, machine = alone(founded)
     assert sent(replica.handle(replica.due, Tick()), Ask)
     made = replica.handle(2000.0, Received("b/1", Vote("g", 4, True, True)))
@@ -568,7 +639,8 @@
     assert world.run(100.0, lambda: world.leader() not in (None, old))
     second = world.lead()
     assert world.say(Change("x", "remove", second.me), second).voters == tuple(
-        who for who in THREE.voters if who != second.me)
+        who for who in THREE.voters if who != second.me
+    )
     assert world.run(100.0, lambda: world.leader() not in (None, second))
     assert member(world, second.me).removed and member(world, second.me).due == float("inf")
 
@@ -608,11 +680,14 @@
     assert isinstance(world.answers[world.call("read", Read("r"), old)], StoreFailed)
     assert world.run(200.0, lambda: world.leader() not in (None, old))  # another was told to stand
     replica = member(world, old.me)
-    assert replica.handle(world.now, Received("b/1", Ask("g", 99, 99, 99, False))) == [] and replica.due == float("inf")
+    assert replica.handle(
+        world.now, Received("b/1", Ask("g", 99, 99, 99, False))
+    ) == [] and replica.due == float("inf")
 
 
 def test_who_is_answered() -> None:
-    """A voter answers an unknown asker only where its log is newer; it may be a member by an entry missing here."""
+    """A voter answers an unknown asker only where its log is newer; it may be a member by an entry missing
+    here."""
     replica, _ = alone(Saved(), THREE)
     assert replica.handle(1.0, Received("d/1", Ask("g", 9, 0, 0, False))) == [] and replica.term == 0
     made = replica.handle(2.0, Received("d/1", Ask("g", 9, 3, 2, False)))
@@ -622,7 +697,9 @@
     newcomer, _ = alone(write(Saved(), store), THREE)  # its vote outlives its log
     assert newcomer.vote == "d/1" and newcomer.config == Config(())
     newcomer, _ = alone(Saved())
-    assert newcomer.handle(1.0, Received("b/1", Ask("g", 9, 3, 2, False))) == [] and newcomer.due == float("inf")
+    assert newcomer.handle(1.0, Received("b/1", Ask("g", 9, 3, 2, False))) == [] and newcomer.due == float(
+        "inf"
+    )
 
 
 def test_a_copy_is_whole_when_it_has_what_its_leader_told_to_be_committed() -> None:
@@ -638,7 +715,9 @@
 
 def test_an_earlier_incarnation_does_not_count() -> None:
     for kind in (Replica, ByName):
-        replica = kind("g", "a/1", Saved(), Kept(World(0, 0)), TIMINGS, random.Random(1), Invariants(), 0.0, THREE)
+        replica = kind(
+            "g", "a/1", Saved(), Kept(World(0, 0)), TIMINGS, random.Random(1), Invariants(), 0.0, THREE
+        )
         stored(replica, 0.0, replica.handle(0.0, Tick()))
         replica.handle(2000.0, Tick())
         vote = Received("b/0", Vote("g", 1, True, True))
@@ -652,17 +731,23 @@
 
 def test_in_service_a_broken_rule_ends_the_copys_promises() -> None:
     rules = Invariants(strict=False)
-    replica = ToldTooSoon("g", "a/1", Saved(), Kept(World(0, 0)), TIMINGS, random.Random(1), rules, 0.0, THREE)
+    replica = ToldTooSoon(
+        "g", "a/1", Saved(), Kept(World(0, 0)), TIMINGS, random.Random(1), rules, 0.0, THREE
+    )
     made = replica.handle(1.0, Received("b/1", Ask("g", 1, 0, 0, False)))
     assert not sent(made, Vote) and [rule for rule, _ in rules.broken] == [Rule.STORED_FIRST]
     assert isinstance(replica.handle(2.0, Propose("p", b""))[0].result, InvariantBroken)  # type: ignore[union-attr]
     assert replica.handle(2.0, Received("b/1", Append("g", 1, 0, 0, (), 0, 1))) == []
 
 
-@pytest.mark.parametrize("saved", [
-    Saved(1, "", None, (Entry(1, 1, COMMAND, b""),)),
-    Saved(1, "", Snapshot(3, 1, THREE, b"\x90"), (Entry(5, 1, COMMAND, b""),)),
-    Saved(1, "", Snapshot(3, 1, THREE, b"\x90"), (Entry(4, 2, COMMAND, b""),))])
+@pytest.mark.parametrize(
+    "saved",
+    [
+        Saved(1, "", None, (Entry(1, 1, COMMAND, b""),)),
+        Saved(1, "", Snapshot(3, 1, THREE, b"\x90"), (Entry(5, 1, COMMAND, b""),)),
+        Saved(1, "", Snapshot(3, 1, THREE, b"\x90"), (Entry(4, 2, COMMAND, b""),)),
+    ],
+)
 def test_a_store_that_does_not_hold_together_is_refused(saved: Saved) -> None:
     with pytest.raises(ValueError):
         alone(saved)
@@ -676,13 +761,16 @@
         world.call("read", Read(f"r{number}"), leader)
     assert isinstance(world.answers[f"p{TIMINGS.most_in_flight}"], Crowded)
     assert isinstance(world.answers[f"r{TIMINGS.most_in_flight}"], Crowded)
-    assert isinstance(world.answers[world.call("propose", Propose("long", b"x" * (MOST_BODY + 1)), leader)], Crowded)
+    assert isinstance(
+        world.answers[world.call("propose", Propose("long", b"x" * (MOST_BODY + 1)), leader)], Crowded
+    )
     world.history.clear()
     other = next(site for site in world.sites.values() if site is not leader)
     assert isinstance(world.answers[world.call("read", Read("r"), other)], NoLeader)
 
 
-# Planted faults: each found by name within a stated number of seeds ---------------------------------------------------
+# Planted faults: each found by name within a stated number of seeds
+# ---------------------------------------------------
 
 
 class ToldTooSoon(Replica):
@@ -761,14 +849,22 @@
     ("two votes in a term", TwoVotes, {}, 40, ("VOTE_ONCE",)),
     ("a read without a round", NoRound, {}, 60, ("stale read",)),
     ("an entry is applied again", AppliesAgain, {}, 20, ("applied twice", "APPLIED_ONCE")),
-    ("a lost disk comes back as who it was", Replica, {"wipe_as_was": True}, 100,
-     ("two leaders", "two commands", "lost", "ONE_LEADER", "COMMITTED_STAYS")),
+    (
+        "a lost disk comes back as who it was",
+        Replica,
+        {"wipe_as_was": True},
+        100,
+        ("two leaders", "two commands", "lost", "ONE_LEADER", "COMMITTED_STAYS"),
+    ),
 )
 
 
-@pytest.mark.parametrize("kind, how, seeds, names", [row[1:] for row in PLANTED], ids=[row[0] for row in PLANTED])
-def test_planted_fault_is_found_by_name(kind: type[Replica], how: dict[str, bool], seeds: int,
-                                        names: tuple[str, ...]) -> None:
+@pytest.mark.parametrize(
+    "kind, how, seeds, names", [row[1:] for row in PLANTED], ids=[row[0] for row in PLANTED]
+)
+def test_planted_fault_is_found_by_name(
+    kind: type[Replica], how: dict[str, bool], seeds: int, names: tuple[str, ...]
+) -> None:
     for seed in range(seeds):
         try:
             Storm(seed, kind, **how).run()
--- a/tests/test_fleet_service.py
+++ b/tests/test_fleet_service.py
@@ -51,8 +51,10 @@
 from tests.test_service import until
 
 ROOT = Path(__file__).resolve().parent.parent
-MEMBERS = "\n".join(f'[[fleet.members]]\nname = "{name}"\nhall = "h"\naddress = "{HOST}:{port}"'
-                    for name, port in (("a", 7001), ("b", 7002), ("c", 7003)))
+MEMBERS = "\n".join(
+    f'[[fleet.members]]\nname = "{name}"\nhall = "h"\naddress = "{HOST}:{port}"'
+    for name, port in (("a", 7001), ("b", 7002), ("c", 7003))
+)
 GOOD = 'enabled = true\nname = "f"\nfolder = "/tmp/f"'
 
 
@@ -62,43 +64,60 @@
     return path
 
 
-# The operators' file --------------------------------------------------------------------------------------------------
+# The operators' file
+# --------------------------------------------------------------------------------------------------
 
 
 def test_a_good_section_and_a_setup_of_it(tmp_path: Path) -> None:
-    fleet = read_operators(written(tmp_path, f"""{GOOD}
+    fleet = read_operators(
+        written(
+            tmp_path,
+            f"""{GOOD}
         me = "b"\ncopies = 3\ntimings = {{ lease_ms = 4000.0 }}
-        servers = {{ connections = 24, limits = {{ s1 = 8 }} }}\nforced = {{ g1 = ["a/1", "c/2"] }}""")).fleet
+        servers = {{ connections = 24, limits = {{ s1 = 8 }} }}\nforced = {{ g1 = ["a/1", "c/2"] }}""",
+        )
+    ).fleet
     made = setup_of(fleet, "gw", "x1")
     assert (made.id, made.copies, made.timings.lease_ms) == ("b/x1", 3, 4000.0)
     assert made.servers == {"*": 24, "s1": 8} and [one.name for one in made.members] == ["a", "b", "c"]
     assert setup_of(msgspec.structs.replace(fleet, me=""), "c", "x1").me == "c"
 
 
-@pytest.mark.parametrize(("head", "members", "key"), [
-    ("enabled = true", MEMBERS, "fleet.name: expected"),
-    ('enabled = true\nname = "f"', MEMBERS, "fleet.folder: missing"),
-    (f"{GOOD}\ncopies = 2", MEMBERS, "fleet.copies: expected 3 or 5"),
-    (f"{GOOD}\ncopies = 5", MEMBERS, "fleet.members: 3 cannot hold 5"),
-    (f"{GOOD}\ngroups = 0", MEMBERS, "fleet.groups: expected 1 to"),
-    (f"{GOOD}\ncapacity = -1.0", MEMBERS, "fleet.capacity"),
-    (f'{GOOD}\ncapacity = "all"', MEMBERS, "fleet.capacity: Expected float"),
-    (f"{GOOD}\ncopy = 3", MEMBERS, "fleet.copy: unknown; did you mean fleet.copies?"),
-    (f'{GOOD}\nme = "z"', MEMBERS, "fleet.me: 'z' is no member"),
-    (GOOD, MEMBERS.replace('"b"', '"a"'), "fleet.members[1].name: 'a' stands twice"),
-    (GOOD, MEMBERS.replace("7002", "7001"), "fleet.members[0].address: '127.0.0.1:7001' stands twice"),
-    (GOOD, MEMBERS.replace(f"{HOST}:7003", "host:7003"), "fleet.members[2].address: expected IP:PORT"),
-    (GOOD, MEMBERS.replace('name = "c"', 'name = "c/1"'), "fleet.members[2].name: expected"),
-    (GOOD, MEMBERS.replace('name = "c"\n', ""), "fleet.members[2].name: missing"),
-    (GOOD, MEMBERS.replace("hall", "haul"), "fleet.members[0].haul: unknown; did you mean fleet.members[0].hall?"),
-    (f"{GOOD}\nmembers = 3", "", "fleet.members: expected tables"),
-    (f"{GOOD}\ntimings = {{ lease_ms = 100.0 }}", MEMBERS, "fleet.timings.lease_ms: expected two election_ms"),
-    (f"{GOOD}\ntimings = {{ lease = 100.0 }}", MEMBERS, "fleet.timings.lease: unknown"),
-    (f"{GOOD}\nservers = {{ limits = {{ s1 = 0 }} }}", MEMBERS, "fleet.servers.limits.s1: expected 1 to"),
-    (f"{GOOD}\nservers = {{ connections = -1 }}", MEMBERS, "fleet.servers.connections: expected 0 to"),
-    (f'{GOOD}\nforced = {{ h1 = ["a/1"] }}', MEMBERS, "fleet.forced.h1: expected a group"),
-    (f'{GOOD}\nforced = {{ g1 = ["a"] }}', MEMBERS, "fleet.forced.g1: expected the members given up"),
-])
+@pytest.mark.parametrize(
+    ("head", "members", "key"),
+    [
+        ("enabled = true", MEMBERS, "fleet.name: expected"),
+        ('enabled = true\nname = "f"', MEMBERS, "fleet.folder: missing"),
+        (f"{GOOD}\ncopies = 2", MEMBERS, "fleet.copies: expected 3 or 5"),
+        (f"{GOOD}\ncopies = 5", MEMBERS, "fleet.members: 3 cannot hold 5"),
+        (f"{GOOD}\ngroups = 0", MEMBERS, "fleet.groups: expected 1 to"),
+        (f"{GOOD}\ncapacity = -1.0", MEMBERS, "fleet.capacity"),
+        (f'{GOOD}\ncapacity = "all"', MEMBERS, "fleet.capacity: Expected float"),
+        (f"{GOOD}\ncopy = 3", MEMBERS, "fleet.copy: unknown; did you mean fleet.copies?"),
+        (f'{GOOD}\nme = "z"', MEMBERS, "fleet.me: 'z' is no member"),
+        (GOOD, MEMBERS.replace('"b"', '"a"'), "fleet.members[1].name: 'a' stands twice"),
+        (GOOD, MEMBERS.replace("7002", "7001"), "fleet.members[0].address: '127.0.0.1:7001' stands twice"),
+        (GOOD, MEMBERS.replace(f"{HOST}:7003", "host:7003"), "fleet.members[2].address: expected IP:PORT"),
+        (GOOD, MEMBERS.replace('name = "c"', 'name = "c/1"'), "fleet.members[2].name: expected"),
+        (GOOD, MEMBERS.replace('name = "c"\n', ""), "fleet.members[2].name: missing"),
+        (
+            GOOD,
+            MEMBERS.replace("hall", "haul"),
+            "fleet.members[0].haul: unknown; did you mean fleet.members[0].hall?",
+        ),
+        (f"{GOOD}\nmembers = 3", "", "fleet.members: expected tables"),
+        (
+            f"{GOOD}\ntimings = {{ lease_ms = 100.0 }}",
+            MEMBERS,
+            "fleet.timings.lease_ms: expected two election_ms",
+        ),
+        (f"{GOOD}\ntimings = {{ lease = 100.0 }}", MEMBERS, "fleet.timings.lease: unknown"),
+        (f"{GOOD}\nservers = {{ limits = {{ s1 = 0 }} }}", MEMBERS, "fleet.servers.limits.s1: expected 1 to"),
+        (f"{GOOD}\nservers = {{ connections = -1 }}", MEMBERS, "fleet.servers.connections: expected 0 to"),
+        (f'{GOOD}\nforced = {{ h1 = ["a/1"] }}', MEMBERS, "fleet.forced.h1: expected a group"),
+        (f'{GOOD}\nforced = {{ g1 = ["a"] }}', MEMBERS, "fleet.forced.g1: expected the members given up"),
+    ],
+)
 def test_every_fault_is_named_by_its_key(head: str, members: str, key: str, tmp_path: Path) -> None:
     with pytest.raises(OperatorsError, match=re.escape(key)):
         read_operators(written(tmp_path, head, members))
@@ -120,40 +139,59 @@
 
 
 def test_a_gateway_without_a_fleet_loads_nothing_of_it() -> None:
-    script = ("import sys, pathlib, badgeryoke.__main__, badgeryoke.management.front; "
-              "from badgeryoke.operators import read_operators; "
-              "print(read_operators(pathlib.Path('deploy/badgeryoke.toml')).fleet, [m for m in sys.modules "
-              "if 'fleet' in m.split('.') or m in ('sqlite3', 'xxhash')])")
-    said = subprocess.run([sys.executable, "-c", script], cwd=ROOT, capture_output=True, text=True, check=True)
+    script = (
+        "import sys, pathlib, badgeryoke.__main__, badgeryoke.management.front; "
+        "from badgeryoke.operators import read_operators; "
+        "print(read_operators(pathlib.Path('deploy/badgeryoke.toml')).fleet, [m for m in sys.modules "
+        "if 'fleet' in m.split('.') or m in ('sqlite3', 'xxhash')])"
+    )
+    said = subprocess.run(
+        [sys.executable, "-c", script], cwd=ROOT, capture_output=True, text=True, check=True
+    )
     assert said.stdout.strip() == "None []"
 
 
 def test_the_page_of_errors_is_the_table_in_the_code() -> None:
     """docs/operators/errors.md has one row for each, in order, with the words of the code."""
-    rows = re.findall(r"^\| `([a-z-]+)` \| (.*?) \| (.*?) \| (yes|no) \|$",
-                      (ROOT / "docs/operators/errors.md").read_text(), re.M)
-    assert rows == [(one.code, " ".join((one.__doc__ or "").split()).rstrip("."), one.do, "yes" if one.retry else "no")
-                    for one in errors.ALL]
+    rows = re.findall(
+        r"^\| `([a-z-]+)` \| (.*?) \| (.*?) \| (yes|no) \|$",
+        (ROOT / "docs/operators/errors.md").read_text(),
+        re.M,
+    )
+    assert rows == [
+        (one.code, " ".join((one.__doc__ or "").split()).rstrip("."), one.do, "yes" if one.retry else "no")
+        for one in errors.ALL
+    ]
     assert all(one.code and one.do for one in errors.ALL)
-    assert sorted(one.code for one in errors.FleetError.__subclasses__()) == sorted(one.code for one in errors.ALL)
-
-
-# Calls ----------------------------------------------------------------------------------------------------------------
-
-
-@pytest.mark.parametrize(("raw", "whom", "what"), [
-    (b"", "call", "expected one JSON object"), (b"{", "call", "expected one JSON object"),
-    (b"[1]", "call", "expected one JSON object"), (b"\xff", "call", "expected one JSON object"),
-    (b"[" * 60_000, "call", "expected one JSON object"),
-    (b"{}", "do", "missing"), (b'{"do": 3}', "do", "missing"),
-    (b'{"do": "promis"}', "do", "did you mean Promise?"), (b'{"do": "Pass", "id": "1"}', "do", "'Pass' is unknown"),
-    (b'{"do": "put", "name": "n", "value": "v"}', "id", "missing"),
-    (b'{"do": "put", "id": "", "name": "n", "value": "v"}', "id", "expected 1 to"),
-    (b'{"do": "put", "id": 1, "name": "n", "value": "v"}', "id", "Expected str"),
-    (b'{"do": "put", "id": "1", "name": "n"}', "call", "missing required field value"),
-    (b'{"do": "put", "id": "1", "nam": "n"}', "nam", "did you mean name?"),
-    (b'{"do": "put", "id": "1", "name": "", "value": ""}', "name", "expected 1 to 128"),
-])
+    assert sorted(one.code for one in errors.FleetError.__subclasses__()) == sorted(
+        one.code for one in errors.ALL
+    )
+
+
+# Calls
+# ----------------------------------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(
+    ("raw", "whom", "what"),
+    [
+        (b"", "call", "expected one JSON object"),
+        (b"{", "call", "expected one JSON object"),
+        (b"[1]", "call", "expected one JSON object"),
+        (b"\xff", "call", "expected one JSON object"),
+        (b"[" * 60_000, "call", "expected one JSON object"),
+        (b"{}", "do", "missing"),
+        (b'{"do": 3}', "do", "missing"),
+        (b'{"do": "promis"}', "do", "did you mean Promise?"),
+        (b'{"do": "Pass", "id": "1"}', "do", "'Pass' is unknown"),
+        (b'{"do": "put", "name": "n", "value": "v"}', "id", "missing"),
+        (b'{"do": "put", "id": "", "name": "n", "value": "v"}', "id", "expected 1 to"),
+        (b'{"do": "put", "id": 1, "name": "n", "value": "v"}', "id", "Expected str"),
+        (b'{"do": "put", "id": "1", "name": "n"}', "call", "missing required field value"),
+        (b'{"do": "put", "id": "1", "nam": "n"}', "nam", "did you mean name?"),
+        (b'{"do": "put", "id": "1", "name": "", "value": ""}', "name", "expected 1 to 128"),
+    ],
+)
 def test_a_bad_call_names_its_key(raw: bytes, whom: str, what: str) -> None:
     read = read_call(raw)
     assert isinstance(read, errors.BadCall) and read.whom == whom and what in read.what
@@ -172,7 +210,8 @@
     assert line_of(Applied({"a": 1})) == b'+OK {"a":1}\n'
 
 
-# The service ----------------------------------------------------------------------------------------------------------
+# The service
+# ----------------------------------------------------------------------------------------------------------
 
 
 class Script:
@@ -203,10 +242,21 @@
 
 
 def section(folder: Path, **changes: Any) -> Fleet:
-    members = [{"name": name, "hall": "h", "address": f"{HOST}:{port}"}
-               for name, port in (("a", free()), ("b", 1), ("c", 2))]
-    return msgspec.convert({"enabled": True, "name": "f", "folder": str(folder / "s"), "members": members,
-                            "timings": {"call_ms": 200.0}, **changes}, Fleet)
+    members = [
+        {"name": name, "hall": "h", "address": f"{HOST}:{port}"}
+        for name, port in (("a", free()), ("b", 1), ("c", 2))
+    ]
+    return msgspec.convert(
+        {
+            "enabled": True,
+            "name": "f",
+            "folder": str(folder / "s"),
+            "members": members,
+            "timings": {"call_ms": 200.0},
+            **changes,
+        },
+        Fleet,
+    )
 
 
 @asynccontextmanager
@@ -233,22 +283,29 @@
 
             def does(event: Any) -> list[Any]:
                 if isinstance(event, Call):
-                    return [Say("warning", "asked", {"of": event.command.name}),
-                            Store("g", 1, (HardState(1, "a/1"),)), Store("h", 2, (HardState(2, ""),)),
-                            Send("b/1", Vote("g", 1, True, False))]
+                    return [
+                        Say("warning", "asked", {"of": event.command.name}),
+                        Store("g", 1, (HardState(1, "a/1"),)),
+                        Store("h", 2, (HardState(2, ""),)),
+                        Send("b/1", Vote("g", 1, True, False)),
+                    ]
                 if isinstance(event, Stored) and event.group == "h":
                     return [Done("a.1", Applied("kept")), Done("a.1", "twice"), Done("nobody", None)]
                 return []
 
             node.does = does
-            assert await made.answer(b'{"do": "put", "id": "1", "name": "n", "value": "v"}') == b'+OK "kept"\n'
+            assert (
+                await made.answer(b'{"do": "put", "id": "1", "name": "n", "value": "v"}') == b'+OK "kept"\n'
+            )
             assert node.seen(Stored) == [Stored("g", 1), Stored("h", 2)] and made._writer is not None
             assert made._writer.transactions == 1 and "asked: of n" in caplog.text
             assert made.links is not None
             made.links._receive("b/1", (Vote("g", 1, True, False),))
             assert node.seen(Received) == [Received("b/1", Vote("g", 1, True, False))]
             status = json.loads((await made.answer(b'{"do": "status"}')).removeprefix(b"+OK "))
-            assert status["groups"]["g0"]["state"] == "leader" and status["broken"] == 0 and not status["errors"]
+            assert (
+                status["groups"]["g0"]["state"] == "leader" and status["broken"] == 0 and not status["errors"]
+            )
 
     play(test)
 
@@ -271,7 +328,8 @@
 
 
 def test_no_answer_is_an_unknown_outcome_and_leaving_is_bounded(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     monkeypatch.setattr(service_module, "LEAVE_S", 0.02)
 
     async def test() -> None:
@@ -294,19 +352,23 @@
     def does(event: Any) -> list[Any]:
         node.rules.check(Rule.VOTE_ONCE, False, lambda: "two in term 3")
         return [Done("a.1", Applied("a lie"))]
+
     return does
 
 
 def failing(node: Script) -> Callable[[Any], list[Any]]:
     def does(event: Any) -> list[Any]:
         raise ValueError("no such group")
+
     return does
 
 
 @pytest.mark.parametrize(("way", "word"), [(broken, "VOTE_ONCE"), (failing, "the log has the cause")])
 def test_a_rule_that_does_not_hold_ends_the_part_and_nothing_else(
-        way: Callable[[Script], Callable[[Any], list[Any]]], word: str, tmp_path: Path) -> None:
+    way: Callable[[Script], Callable[[Any], list[Any]]], word: str, tmp_path: Path
+) -> None:
     """What it wanted done behind the broken rule is not done; calls under way are told that nobody knows."""
+
     async def test() -> None:
         async with begun(tmp_path) as (made, node):
             node.does = way(node)
@@ -322,7 +384,9 @@
     play(test)
 
 
-def test_a_store_that_breaks_is_told_to_the_node_once(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_store_that_breaks_is_told_to_the_node_once(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     def full(*_: Any) -> None:
         raise OSError(28, "No space left on device")
 
@@ -340,7 +404,9 @@
     play(test)
 
 
-def test_the_folder_of_a_process_before_is_waited_for(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+def test_the_folder_of_a_process_before_is_waited_for(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     monkeypatch.setattr(service_module, "AGAIN_S", 0.01)
 
     async def test() -> None:
@@ -363,12 +429,25 @@
     play(test)
 
 
-def test_a_group_without_a_majority_goes_on_by_hand_once(tmp_path: Path, caplog: pytest.LogCaptureFixture) -> None:
+def test_a_group_without_a_majority_goes_on_by_hand_once(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture
+) -> None:
     me, others = "a/x1", ("b/1", "c/1")
     disk = open_store(tmp_path / "s", "f", "a", fresh=lambda: "x1")
     assert isinstance(disk, Disk)
-    disk.write([Store("g1", 0, (HardState(4, ""), Snapshot(1, 1, Config((me, *others)), b""),
-                                Entries((Entry(2, 4, NOTHING, b""),))))])
+    disk.write(
+        [
+            Store(
+                "g1",
+                0,
+                (
+                    HardState(4, ""),
+                    Snapshot(1, 1, Config((me, *others)), b""),
+                    Entries((Entry(2, 4, NOTHING, b""),)),
+                ),
+            )
+        ]
+    )
     disk.close()
 
     async def test() -> None:
@@ -381,7 +460,8 @@
     play(test)
 
 
-# At the gateway -------------------------------------------------------------------------------------------------------
+# At the gateway
+# -------------------------------------------------------------------------------------------------------
 
 
 @contextlib.contextmanager
@@ -400,10 +480,13 @@
 
 
 def test_the_second_address_takes_fleet_calls_and_the_end_waits_for_the_node(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     async def test() -> None:
         async with Backend() as node, Discovery(entry("a", node.port)) as list_:
-            made = replace(config(list_.port, None, roster(entry("a", node.port))), mgmt=(HOST, 0), drain_s=0.01)
+            made = replace(
+                config(list_.port, None, roster(entry("a", node.port))), mgmt=(HOST, 0), drain_s=0.01
+            )
             async with gateway(made) as app:
                 assert (await call(app, b"FLEET {}\n")).startswith(b"-ERR fleet is off:")
                 assert await call(app, b"FLEET " + b"x" * 300 + b"\n") == await call(app, b"FLEET\n")
@@ -413,8 +496,13 @@
                 assert app.fleet is not None
                 script = app.fleet.node
                 assert isinstance(script, Script)
-                script.does = lambda event: [Done("a.1", Applied([1]))] if isinstance(event, Call) else [
-                    Done(event.token, None)] if isinstance(event, Leave) else []
+                script.does = lambda event: (
+                    [Done("a.1", Applied([1]))]
+                    if isinstance(event, Call)
+                    else [Done(event.token, None)]
+                    if isinstance(event, Leave)
+                    else []
+                )
                 long = json.dumps({"do": "put", "id": "1", "name": "n", "value": "v" * 1000}).encode()
                 assert await call(app, b"FLEET " + long + b"\n") == b"+OK [1]\n"
                 for line in (b"FLEET " + b"x" * 70_000 + b"\n", b"y" * 300 + b"\n", b"y" * 300):
--- a/tests/test_fleet_stage.py
+++ b/tests/test_fleet_stage.py
@@ -1,4 +1,5 @@
-"""The laboratory's fleet: its words, its links, the book of promises, and real processes with faults between them."""
+"""The laboratory's fleet: its words, its links, the book of promises, and real processes with faults
+between them."""
 
 from __future__ import annotations
 
@@ -38,40 +39,83 @@
     assert (contract.from_ms, contract.to_ms) == (5000.0, 30_000.0)
     assert (roll.name, roll.from_ms, roll.gateways, roll.at_once) == ("nightly", 10_000.0, (1, 2, 5), 2)
     assert [(one.word, one.groups, one.amount, one.mode) for one in made.faults] == [
-        ("cut", ((1, 2), (3, 4, 5)), 0.0, ""), ("cut", ((1,), (2, 3)), 0.0, "one-way"),
-        ("delay", ((1,), (2,)), 400.0, ""), ("reset", ((1,), (2,)), 2.0, ""), ("narrow", ((1,), (2,)), 8.0, ""),
-        ("mend", (), 0.0, ""), ("lose", ((2,),), 0.0, "whole"), ("start", ((2,),), 0.0, ""),
-        ("freeze", ((3,),), 0.0, ""), ("thaw", ((3,),), 0.0, ""), ("spoil", ((4,),), 0.0, ""),
-        ("step", ((5,),), -30_000.0, ""), ("full", ((1,),), 1.0, ""), ("full", ((1,),), 0.0, "")]
-
-
-@pytest.mark.parametrize(("rest", "at", "words"), [
-    ("(gateways 5) (proposals 40/s)", "(proposals", ("proposals", "(fleet on)")),
-    (f"(gateways 5 (copies 3)) {LOAD}", "(copies", ("copies", "(fleet on)")),
-    (f"(gateways 5) {LOAD} (at 1s (freeze gateway 1))", "(freeze", ("freeze", "(fleet on)")),
-    ("(gateways 5 (fleet on)) (propsals 40/s)", "propsals", ("propsals", "proposals")),
-    ("(gateways 5 (fleet on)) (proposals -4/s)", "-4/s", ("-4/s",)),
-    ("(gateways 5 (fleet on) (copies 4)) (proposals 4/s)", "4))", ("1, 3, 5",)),
-    ("(gateways 2 (fleet on)) (proposals 4/s)", "(scenario", ("3 copies", "2 gateways")),
-    ("(gateways 5 (fleet on))", "(scenario", ("needs", "(proposals ...)")),
-    ("(gateways 5 (fleet on)) (proposals 4/s) (at 1s (cut gateways (1) (1 2)))", "(cut", ("two groups",)),
-    ("(gateways 5 (fleet on)) (proposals 4/s) (at 1s (cut gateways (1) (6)))", "6)", ("1 to 5", "'6'")),
-    ("(gateways 5 (fleet on)) (proposals 4/s) (at 1s (cut gateways (1) (2) onway))", "onway", ("onway", "one-way")),
-    ("(gateways 5 (fleet on)) (proposals 4/s) (at 1s (delay gateways (1) (2) 2/s))", "2/s", ("time", "2/s")),
-    ("(gateways 5 (fleet on)) (proposals 4/s) (at 1s (reset gateways (1) (2)))", "(reset", ("rate", "missing")),
-    ("(gateways 5 (fleet on)) (proposals 4/s) (at 1s (step gateway 1 30))", "30)", ("time", "'30'")),
-    ("(gateways 5 (fleet on)) (proposals 4/s) (at 1s (losee gateway 1))", "losee", ("losee", "lose")),
-    ("(gateways 5 (fleet on)) (proposals 4/s) (at 1s (lose counter))", "(lose", ("lose", "a gateway")),
-    ("(gateways 5 (fleet on)) (proposals 4/s) (at 1s (mend gateways now))", "now", ("nothing more",)),
-    ("(gateways 5 (fleet on)) (proposals 4/s) (roll n (from 1s) (gateways 1 1))", "(gateways 1 1", ("once",)),
-    ("(gateways 5 (fleet on)) (proposals 4/s) (roll n (from 1s) (at-onc 1))", "at-onc", ("at-onc", "at-once")),
-    ("(gateways 5 (fleet on)) (proposals 4/s) (roll n (at-once 1))", "(roll", ("roll n", "from")),
-    (f"(gateways 5 (fleet on)) {LOAD} (contract c (customers 1..9) (rate 1/s) (burst 1u) (to 1s))", "1..9",
-     ("1..9", "1 to 4")),
-    (f"(gateways 5 (fleet on)) {LOAD} (contract c (customers 1) (rate 1/s) (burst 1u) (from 2s) (to 1s))", "(contract",
-     ("before it begins",)),
-    (f"(gateways 5 (fleet on)) {LOAD} (contract c (customers 1) (rate 0/s) (burst 1u) (to 1s))", "(contract",
-     ("(rate ...)",))])
+        ("cut", ((1, 2), (3, 4, 5)), 0.0, ""),
+        ("cut", ((1,), (2, 3)), 0.0, "one-way"),
+        ("delay", ((1,), (2,)), 400.0, ""),
+        ("reset", ((1,), (2,)), 2.0, ""),
+        ("narrow", ((1,), (2,)), 8.0, ""),
+        ("mend", (), 0.0, ""),
+        ("lose", ((2,),), 0.0, "whole"),
+        ("start", ((2,),), 0.0, ""),
+        ("freeze", ((3,),), 0.0, ""),
+        ("thaw", ((3,),), 0.0, ""),
+        ("spoil", ((4,),), 0.0, ""),
+        ("step", ((5,),), -30_000.0, ""),
+        ("full", ((1,),), 1.0, ""),
+        ("full", ((1,),), 0.0, ""),
+    ]
+
+
+@pytest.mark.parametrize(
+    ("rest", "at", "words"),
+    [
+        ("(gateways 5) (proposals 40/s)", "(proposals", ("proposals", "(fleet on)")),
+        (f"(gateways 5 (copies 3)) {LOAD}", "(copies", ("copies", "(fleet on)")),
+        (f"(gateways 5) {LOAD} (at 1s (freeze gateway 1))", "(freeze", ("freeze", "(fleet on)")),
+        ("(gateways 5 (fleet on)) (propsals 40/s)", "propsals", ("propsals", "proposals")),
+        ("(gateways 5 (fleet on)) (proposals -4/s)", "-4/s", ("-4/s",)),
+        ("(gateways 5 (fleet on) (copies 4)) (proposals 4/s)", "4))", ("1, 3, 5",)),
+        ("(gateways 2 (fleet on)) (proposals 4/s)", "(scenario", ("3 copies", "2 gateways")),
+        ("(gateways 5 (fleet on))", "(scenario", ("needs", "(proposals ...)")),
+        ("(gateways 5 (fleet on)) (proposals 4/s) (at 1s (cut gateways (1) (1 2)))", "(cut", ("two groups",)),
+        ("(gateways 5 (fleet on)) (proposals 4/s) (at 1s (cut gateways (1) (6)))", "6)", ("1 to 5", "'6'")),
+        (
+            "(gateways 5 (fleet on)) (proposals 4/s) (at 1s (cut gateways (1) (2) onway))",
+            "onway",
+            ("onway", "one-way"),
+        ),
+        (
+            "(gateways 5 (fleet on)) (proposals 4/s) (at 1s (delay gateways (1) (2) 2/s))",
+            "2/s",
+            ("time", "2/s"),
+        ),
+        (
+            "(gateways 5 (fleet on)) (proposals 4/s) (at 1s (reset gateways (1) (2)))",
+            "(reset",
+            ("rate", "missing"),
+        ),
+        ("(gateways 5 (fleet on)) (proposals 4/s) (at 1s (step gateway 1 30))", "30)", ("time", "'30'")),
+        ("(gateways 5 (fleet on)) (proposals 4/s) (at 1s (losee gateway 1))", "losee", ("losee", "lose")),
+        ("(gateways 5 (fleet on)) (proposals 4/s) (at 1s (lose counter))", "(lose", ("lose", "a gateway")),
+        ("(gateways 5 (fleet on)) (proposals 4/s) (at 1s (mend gateways now))", "now", ("nothing more",)),
+        (
+            "(gateways 5 (fleet on)) (proposals 4/s) (roll n (from 1s) (gateways 1 1))",
+            "(gateways 1 1",
+            ("once",),
+        ),
+        (
+            "(gateways 5 (fleet on)) (proposals 4/s) (roll n (from 1s) (at-onc 1))",
+            "at-onc",
+            ("at-onc", "at-once"),
+        ),
+        ("(gateways 5 (fleet on)) (proposals 4/s) (roll n (at-once 1))", "(roll", ("roll n", "from")),
+        (
+            f"(gateways 5 (fleet on)) {LOAD} (contract c (customers 1..9) (rate 1/s) (burst 1u) (to 1s))",
+            "1..9",
+            ("1..9", "1 to 4"),
+        ),
+        (
+            f"(gateways 5 (fleet on)) {LOAD} (contract c (customers 1) (rate 1/s) (burst 1u) (from 2s) (to 1s))",
+            "(contract",
+            ("before it begins",),
+        ),
+        (
+            f"(gateways 5 (fleet on)) {LOAD} (contract c (customers 1) (rate 0/s) (burst 1u) (to 1s))",
+            "(contract",
+            ("(rate ...)",),
+        ),
+    ],
+)
 def test_a_wrong_word_of_a_fleet_is_told_by_column(rest: str, at: str, words: tuple[str, ...]) -> None:
     with pytest.raises(TextError) as caught:
         parse(text := f"(scenario a {rest})")
@@ -83,11 +127,14 @@
 
 
 @asynccontextmanager
-async def linked() -> AsyncIterator[tuple[Links, asyncio.StreamReader, asyncio.StreamWriter,
-                                          asyncio.StreamReader, asyncio.StreamWriter]]:
+async def linked() -> AsyncIterator[
+    tuple[Links, asyncio.StreamReader, asyncio.StreamWriter, asyncio.StreamReader, asyncio.StreamWriter]
+]:
     """Gateway 0 has called gateway 1: both ends."""
     called: asyncio.Queue[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = asyncio.Queue()
-    server = await asyncio.start_server(lambda reader, writer: called.put_nowait((reader, writer)), "127.0.0.1", 0)
+    server = await asyncio.start_server(
+        lambda reader, writer: called.put_nowait((reader, writer)), "127.0.0.1", 0
+    )
     links = Links(2, random.Random(1))
     links.targets = {1: server.sockets[0].getsockname(), 0: ("127.0.0.1", 1)}
     await links.listen()
@@ -107,6 +154,7 @@
 def play(test: Callable[[], Awaitable[None]], within_s: float = 30.0) -> None:
     async def bounded() -> None:
         await asyncio.wait_for(test(), within_s)
+
     asyncio.run(bounded())
 
 
@@ -213,32 +261,52 @@
     assert book.refused == {"no-room": 1} and len(book.acknowledged) == 3
 
 
-@pytest.mark.parametrize(("said", "answer"), [
-    (b'+OK {"a": 1}\n', ({"a": 1}, "")), (b"+OK\n", (None, "")), (b"", (None, UNKNOWN)),
-    (b'-ERR {"error": "no-leader", "whom": "x"}\n', (None, "no-leader")),
-    (b"-ERR unknown call; known are STATUS\n", (None, "unknown call; known are STATUS"))])
+@pytest.mark.parametrize(
+    ("said", "answer"),
+    [
+        (b'+OK {"a": 1}\n', ({"a": 1}, "")),
+        (b"+OK\n", (None, "")),
+        (b"", (None, UNKNOWN)),
+        (b'-ERR {"error": "no-leader", "whom": "x"}\n', (None, "no-leader")),
+        (b"-ERR unknown call; known are STATUS\n", (None, "unknown call; known are STATUS")),
+    ],
+)
 def test_an_answer_is_read(said: bytes, answer: object) -> None:
     assert read_answer(said) == answer and NOBODY != UNKNOWN
 
 
 def test_what_needs_privileges_is_said_with_its_line() -> None:
-    assert unplayable(load("fleet-step")[0]).startswith("line 6: step") and not unplayable(load("fleet-calm")[0])
+    assert unplayable(load("fleet-step")[0]).startswith("line 6: step") and not unplayable(
+        load("fleet-calm")[0]
+    )
 
 
 def test_what_is_due_under_a_contract_and_what_of_it_was_short() -> None:
-    text = parse(f"""(scenario a {FLEET} {LOAD} (contract c (customers 1) (rate 4/s) (burst 4u) (from 1s) (to 3s)))""")
-    fleet = FleetStage(text, random.Random(1), lambda: 0.0, lambda *said, **more: None, [("127.0.0.1", 1)] * 5, [])
+    text = parse(
+        f"""(scenario a {FLEET} {LOAD} (contract c (customers 1) (rate 4/s) (burst 4u) (from 1s) (to 3s)))"""
+    )
+    fleet = FleetStage(
+        text, random.Random(1), lambda: 0.0, lambda *said, **more: None, [("127.0.0.1", 1)] * 5, []
+    )
     fleet._contract_of = {7: text.contracts[0]}
     now = 0.0
     fleet._clock = lambda: now
-    for now, kind in ((900.0, "refused"), (1000.0, "served"), (1001.0, "refused"), (1002.0, "refused"),
-                      (2000.0, "served"), (2001.0, "served")):
+    for now, kind in (
+        (900.0, "refused"),
+        (1000.0, "served"),
+        (1001.0, "refused"),
+        (1002.0, "refused"),
+        (2000.0, "served"),
+        (2001.0, "served"),
+    ):
         fleet.asked(7, now, 2.0, 0)(kind)
     assert fleet.floor() is None and fleet.shortfall_error() is None  # it was not admitted
     fleet.contracts["c"] = {"admitted": True}
     assert fleet.floor() == 0.5
     fleet._told_short = {"c": 3.0}
-    assert fleet.shortfall_error() == pytest.approx(1.0 / 2.008, rel=0.01)  # two units were short, of 12 asked
+    assert fleet.shortfall_error() == pytest.approx(
+        1.0 / 2.008, rel=0.01
+    )  # two units were short, of 12 asked
     for other in range(1, 5):
         fleet.links.ways[0, other].cut = True
     fleet.asked(7, 2500.0, 4.0, 0)("refused")  # where it cannot be served: short, and no less of a floor
@@ -251,7 +319,9 @@
 @asynccontextmanager
 async def staged(gateways: int, folder: Path) -> AsyncIterator[tuple[Stage, FleetStage]]:
     """So many real gateways, founded, with promises being made; at the end none is lost."""
-    stage = Stage(parse(f"(scenario short (gateways {gateways} (fleet on)) (servers 1) (proposals 30/s))"), 1, folder)
+    stage = Stage(
+        parse(f"(scenario short (gateways {gateways} (fleet on)) (servers 1) (proposals 30/s))"), 1, folder
+    )
     try:
         await stage.open()
         fleet = stage.fleet
@@ -260,7 +330,12 @@
         yield stage, fleet
         await fleet.finish()
         made = fleet.figures([])
-        assert (made.promises_lost, made.promises_twice, made.leaders_in_a_term, made.invariants_broken) == (0, 0, 1, 0)
+        assert (made.promises_lost, made.promises_twice, made.leaders_in_a_term, made.invariants_broken) == (
+            0,
+            0,
+            1,
+            0,
+        )
         assert made.promises_acknowledged == len(fleet.book.acknowledged) > 0
     finally:
         await stage.close()
--- a/tests/test_fleet_store.py
+++ b/tests/test_fleet_store.py
@@ -1,4 +1,5 @@
-"""What a member's store gives back: all that was acknowledged as it was written, or word that it is damaged."""
+"""What a member's store gives back: all that was acknowledged as it was written, or word that it is
+damaged."""
 
 from __future__ import annotations
 
@@ -49,27 +50,39 @@
     return opened(disk.folder, word=word)
 
 
-# What it gives back ---------------------------------------------------------------------------------------------------
-
-
-@pytest.mark.parametrize(("records", "saved"), [
-    ([HardState(3, "b/1")], Saved(3, "b/1")),
-    ([entries(1, 5)], Saved(entries=entries(1, 5).entries)),
-    ([entries(1, 5), entries(3, 3, 2)], Saved(entries=(*entries(1, 2).entries, entry(3, 2)))),
-    ([entries(1, 5), entries(1, 1, 2)], Saved(entries=(entry(1, 2),))),
-    ([entries(1, 5), Snapshot(3, 1, CONFIG, b"x")], Saved(snapshot=Snapshot(3, 1, CONFIG, b"x"),
-                                                         entries=entries(4, 5).entries)),
-    # The log holds another entry where the snapshot ends: nothing behind it can stand.
-    ([entries(1, 5), Snapshot(3, 2, CONFIG, b"x")], Saved(snapshot=Snapshot(3, 2, CONFIG, b"x"))),
-    ([entries(1, 5), Snapshot(9, 2, CONFIG, b"x"), entries(10, 11, 3)],
-     Saved(snapshot=Snapshot(9, 2, CONFIG, b"x"), entries=entries(10, 11, 3).entries)),
-    ([entries(1, 5), Snapshot(3, 1, CONFIG, b"x"), Snapshot(3, 1, CONFIG, b"y"), entries(6, 6)],
-     Saved(snapshot=Snapshot(3, 1, CONFIG, b"y"), entries=entries(4, 6).entries)),
-    ([entries(1, 5), Snapshot(3, 1, CONFIG, b"x"), entries(4, 4, 2), entries(5, 5, 2)],
-     Saved(snapshot=Snapshot(3, 1, CONFIG, b"x"), entries=entries(4, 5, 2).entries)),
-    ([Snapshot(0, 0, Config(()), b"founding")], Saved(snapshot=Snapshot(0, 0, Config(()), b"founding"))),
-    ([entries(1, 2), Forget(), HardState(1, "")], Saved(1)),
-])
+# What it gives back
+# ---------------------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(
+    ("records", "saved"),
+    [
+        ([HardState(3, "b/1")], Saved(3, "b/1")),
+        ([entries(1, 5)], Saved(entries=entries(1, 5).entries)),
+        ([entries(1, 5), entries(3, 3, 2)], Saved(entries=(*entries(1, 2).entries, entry(3, 2)))),
+        ([entries(1, 5), entries(1, 1, 2)], Saved(entries=(entry(1, 2),))),
+        (
+            [entries(1, 5), Snapshot(3, 1, CONFIG, b"x")],
+            Saved(snapshot=Snapshot(3, 1, CONFIG, b"x"), entries=entries(4, 5).entries),
+        ),
+        # The log holds another entry where the snapshot ends: nothing behind it can stand.
+        ([entries(1, 5), Snapshot(3, 2, CONFIG, b"x")], Saved(snapshot=Snapshot(3, 2, CONFIG, b"x"))),
+        (
+            [entries(1, 5), Snapshot(9, 2, CONFIG, b"x"), entries(10, 11, 3)],
+            Saved(snapshot=Snapshot(9, 2, CONFIG, b"x"), entries=entries(10, 11, 3).entries),
+        ),
+        (
+            [entries(1, 5), Snapshot(3, 1, CONFIG, b"x"), Snapshot(3, 1, CONFIG, b"y"), entries(6, 6)],
+            Saved(snapshot=Snapshot(3, 1, CONFIG, b"y"), entries=entries(4, 6).entries),
+        ),
+        (
+            [entries(1, 5), Snapshot(3, 1, CONFIG, b"x"), entries(4, 4, 2), entries(5, 5, 2)],
+            Saved(snapshot=Snapshot(3, 1, CONFIG, b"x"), entries=entries(4, 5, 2).entries),
+        ),
+        ([Snapshot(0, 0, Config(()), b"founding")], Saved(snapshot=Snapshot(0, 0, Config(()), b"founding"))),
+        ([entries(1, 2), Forget(), HardState(1, "")], Saved(1)),
+    ],
+)
 def test_what_was_written_comes_back(disk: Disk, records: list[Record], saved: Saved) -> None:
     """One transaction a record, and all records in one."""
     for record in records:
@@ -80,16 +93,22 @@
     back = again(disk)
     assert back.saved == {"g": saved, "h": saved} and back.incarnation == "1" and not back.faults
     put(back, "g", HardState(9, "z/1"))  # the chain goes on from what was read
-    last = back.saved["g"].entries[-1].index if back.saved["g"].entries else (
-        back.saved["g"].snapshot.index if back.saved["g"].snapshot else 0)
+    last = (
+        back.saved["g"].entries[-1].index
+        if back.saved["g"].entries
+        else (back.saved["g"].snapshot.index if back.saved["g"].snapshot else 0)
+    )
     put(back, "g", entries(last + 1, last + 2, 7))
     third = again(back)
-    assert third.saved["g"].term == 9 and third.saved["g"].entries[-2:] == entries(last + 1, last + 2, 7).entries
+    assert (
+        third.saved["g"].term == 9 and third.saved["g"].entries[-2:] == entries(last + 1, last + 2, 7).entries
+    )
     third.close()
 
 
-@pytest.mark.parametrize("record", [entries(7, 7), entries(0, 1), Entries((entry(6), entry(8))),
-                                    Snapshot(1, 1, CONFIG, b"")])
+@pytest.mark.parametrize(
+    "record", [entries(7, 7), entries(0, 1), Entries((entry(6), entry(8))), Snapshot(1, 1, CONFIG, b"")]
+)
 def test_a_hole_in_a_log_is_never_written(disk: Disk, record: Record) -> None:
     put(disk, "g", entries(1, 5), Snapshot(2, 1, CONFIG, b"x"))
     with pytest.raises(Exception, match="group g"):
@@ -99,7 +118,8 @@
     back.close()
 
 
-# Damage ---------------------------------------------------------------------------------------------------------------
+# Damage
+# ---------------------------------------------------------------------------------------------------------------
 
 
 def filled(folder: Path, count: int = 60) -> dict[str, Saved]:
@@ -201,7 +221,8 @@
     assert len(list(disk.folder.glob("damaged-*"))) == MOST_KEPT
 
 
-# Whose it is ----------------------------------------------------------------------------------------------------------
+# Whose it is
+# ----------------------------------------------------------------------------------------------------------
 
 
 def test_one_folder_one_process_one_member_one_fleet(disk: Disk) -> None:
@@ -223,7 +244,8 @@
     assert isinstance(open_store(tmp_path / "file" / "s", "f", "a"), errors.StoreFailed)
 
 
-# Off the loop ---------------------------------------------------------------------------------------------------------
+# Off the loop
+# ---------------------------------------------------------------------------------------------------------
 
 
 class Told:
@@ -233,7 +255,9 @@
         self.stored: list[Stored] = []
         self.broke: list[errors.FleetError] = []
         self.news = asyncio.Event()
-        self.writer = StoreWriter(disk, asyncio.get_running_loop().call_soon_threadsafe, self._stored, self._broke)
+        self.writer = StoreWriter(
+            disk, asyncio.get_running_loop().call_soon_threadsafe, self._stored, self._broke
+        )
 
     def _stored(self, those: list[Stored]) -> None:
         self.stored += those
@@ -250,7 +274,8 @@
 
 
 def test_what_waits_goes_into_one_transaction_and_is_answered_in_order(
-        disk: Disk, monkeypatch: pytest.MonkeyPatch) -> None:
+    disk: Disk, monkeypatch: pytest.MonkeyPatch
+) -> None:
     gate, write = threading.Event(), Disk.write
     monkeypatch.setattr(Disk, "write", lambda self, batch: (gate.wait(10), write(self, batch))[1])
 
@@ -291,7 +316,9 @@
     asyncio.run(test())
 
 
-def test_a_disk_that_does_not_keep_up_is_given_up_at_the_bound(disk: Disk, monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_disk_that_does_not_keep_up_is_given_up_at_the_bound(
+    disk: Disk, monkeypatch: pytest.MonkeyPatch
+) -> None:
     monkeypatch.setattr("badgeryoke.fleet.store.MOST_WAITING", 10_000)
     gate = threading.Event()
     monkeypatch.setattr(Disk, "write", lambda self, batch: gate.wait(10))
--- a/tests/test_fleet_world.py
+++ b/tests/test_fleet_world.py
@@ -1,4 +1,5 @@
-"""The simulated fleet's own parts: links, clocks, stores, and a referee that finds planted wrong histories."""
+"""The simulated fleet's own parts: links, clocks, stores, and a referee that finds planted wrong
+histories."""
 
 from __future__ import annotations
 
@@ -20,7 +21,9 @@
 from lab.text.scenario import Fault
 
 
-def put(key: str, number: int, invoked: float, returned: float, before: str | None, fate: str = "answered") -> Op:
+def put(
+    key: str, number: int, invoked: float, returned: float, before: str | None, fate: str = "answered"
+) -> Op:
     return Op(key, f"o{number}", f"v{number}", invoked, returned, fate, before)
 
 
@@ -36,17 +39,35 @@
     assert (verdict.acknowledged, verdict.lost, verdict.twice, verdict.findings) == (2, 0, 0, [])
 
 
-@pytest.mark.parametrize(("name", "ops"), [
-    ("lost", [put("a", 1, 0, 10, None), put("a", 2, 20, 30, None), look("a", 40, 41, "v2")]),
-    ("lost", [put("a", 1, 0, 10, None), look("a", 20, 21, None)]),
-    ("twice", [put("a", 1, 0, 10, None), put("a", 2, 20, 30, "v1"), put("a", 3, 40, 50, "v1"),
-               look("a", 60, 61, "v3")]),
-    ("not-linear", [*GOOD, look("a", 25, 26, "v1")]),
-    ("not-linear", [put("a", 1, 0, 10, None), put("a", 2, 10, 30, "v1"), look("a", 12, 13, "v2"),
-                    look("a", 14, 15, "v1"), look("a", 40, 41, "v2")]),
-    ("made-up", [put("a", 1, 0, 10, "v9"), look("a", 20, 21, "v1")]),
-    ("refused-but-taken", [put("a", 1, 0, 10, None, "refused"), look("a", 20, 21, "v1")]),
-])
+@pytest.mark.parametrize(
+    ("name", "ops"),
+    [
+        ("lost", [put("a", 1, 0, 10, None), put("a", 2, 20, 30, None), look("a", 40, 41, "v2")]),
+        ("lost", [put("a", 1, 0, 10, None), look("a", 20, 21, None)]),
+        (
+            "twice",
+            [
+                put("a", 1, 0, 10, None),
+                put("a", 2, 20, 30, "v1"),
+                put("a", 3, 40, 50, "v1"),
+                look("a", 60, 61, "v3"),
+            ],
+        ),
+        ("not-linear", [*GOOD, look("a", 25, 26, "v1")]),
+        (
+            "not-linear",
+            [
+                put("a", 1, 0, 10, None),
+                put("a", 2, 10, 30, "v1"),
+                look("a", 12, 13, "v2"),
+                look("a", 14, 15, "v1"),
+                look("a", 40, 41, "v2"),
+            ],
+        ),
+        ("made-up", [put("a", 1, 0, 10, "v9"), look("a", 20, 21, "v1")]),
+        ("refused-but-taken", [put("a", 1, 0, 10, None, "refused"), look("a", 20, 21, "v1")]),
+    ],
+)
 def test_a_wrong_history_is_found_by_its_name(name: str, ops: list[Op]) -> None:
     assert name in [finding.name for finding in judge(ops).findings]
 
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -61,8 +61,14 @@
             assert (name, customer, rid, body) == (b"SVC.SUBMIT", b"%016x" % 5, b"id1", b"BODY")
             given = dict(part.split("=") for part in listed.decode().split(","))
             assert 0 < int(given.pop("d")) <= 60_000
-            assert given == {"c": "load-send", "t": "dealer", "k": "5c0f6e1a2b3d4c59", "units": "3",
-                             "spread": "2", "first": "0"}
+            assert given == {
+                "c": "load-send",
+                "t": "dealer",
+                "k": "5c0f6e1a2b3d4c59",
+                "units": "3",
+                "spread": "2",
+                "first": "0",
+            }
             assert counter.units == 3
 
     play(test)
@@ -281,10 +287,14 @@
     async def test() -> None:
         async with Backend() as node, Discovery(entry("a", node.port)) as list_, Counter() as counter:
             known = roster(entry("a", node.port))
-            async with gateway(config(list_.port, counter.port, known)) as one, gateway(
-                    config(list_.port, counter.port, known, me=1)) as two:
-                answers = [(await ask(app, query(f"r{n}", units=3, plan="small")))[0]
-                           for n, app in enumerate([one, two] * 4)]
+            async with (
+                gateway(config(list_.port, counter.port, known)) as one,
+                gateway(config(list_.port, counter.port, known, me=1)) as two,
+            ):
+                answers = [
+                    (await ask(app, query(f"r{n}", units=3, plan="small")))[0]
+                    for n, app in enumerate([one, two] * 4)
+                ]
                 served = [n for n, answer in enumerate(answers) if answer == b"value"]
                 assert len(served) == 4 and node.books.units[5] == 12
                 assert all(str(a).startswith("-BUSY ") for a in answers if a != b"value")
@@ -309,8 +319,13 @@
         ours, theirs = socket.socketpair()
         core = Core()
         stream = IOStream(ours)
-        link = ClientLink(stream, core, Turns(asyncio.get_running_loop()),  # type: ignore[arg-type]
-                          lambda: True, lambda _: None)
+        link = ClientLink(
+            stream,
+            core,
+            Turns(asyncio.get_running_loop()),  # type: ignore[arg-type]
+            lambda: True,
+            lambda _: None,
+        )
         serving = asyncio.ensure_future(link.serve())
         _, writer = await asyncio.open_connection(sock=theirs)
         # A reading brings two or three.
@@ -331,14 +346,21 @@
     with socket.socket() as free:
         free.bind(("127.0.0.1", 0))
         port = free.getsockname()[1]
-    raw = {"name": "n1", "listen": f"127.0.0.1:{port}", "discovery": "127.0.0.1:1", "seed": "1f",
-           "counter": "127.0.0.1:1", "settings": PARAMS,
-           "known": {"version": 1, "full": True, "servers": [entry("a", 1)]}}
+    raw = {
+        "name": "n1",
+        "listen": f"127.0.0.1:{port}",
+        "discovery": "127.0.0.1:1",
+        "seed": "1f",
+        "counter": "127.0.0.1:1",
+        "settings": PARAMS,
+        "known": {"version": 1, "full": True, "servers": [entry("a", 1)]},
+    }
     (tmp_path / "config.json").write_text(json.dumps(raw))
     root = Path(__file__).resolve().parent.parent
     told = {**os.environ, "LB_CONFIG": str(tmp_path / "config.json")}
-    with subprocess.Popen([sys.executable, "-m", "badgeryoke"], cwd=root, stderr=subprocess.PIPE, env=told,
-                          text=True) as process:
+    with subprocess.Popen(
+        [sys.executable, "-m", "badgeryoke"], cwd=root, stderr=subprocess.PIPE, env=told, text=True
+    ) as process:
         assert process.stderr is not None
         while "listens on" not in process.stderr.readline():
             assert process.poll() is None
@@ -353,6 +375,11 @@
 
 
 def test_faulty_configuration_ends_the_program_with_its_key() -> None:
-    done = subprocess.run([sys.executable, "-m", "badgeryoke"], capture_output=True, text=True, check=False,
-                          env={k: v for k, v in os.environ.items() if k != "LB_CONFIG"})
+    done = subprocess.run(
+        [sys.executable, "-m", "badgeryoke"],
+        capture_output=True,
+        text=True,
+        check=False,
+        env={k: v for k, v in os.environ.items() if k != "LB_CONFIG"},
+    )
     assert done.returncode == 1 and "LB_CONFIG: not set" in done.stderr
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -68,7 +68,11 @@
     before, after = old._quota._ledgers[7], new._quota._ledgers[7]
     assert after.quota.room(now) == pytest.approx(before.quota.room(now))
     assert (after.period, after.base, after.told, after.owed) == (
-        before.period, before.base, before.told, before.owed)
+        before.period,
+        before.base,
+        before.told,
+        before.owed,
+    )
     assert new._fleet._peers[server].latency == old._fleet._peers[server].latency
     [wake] = helpers.only(actions, api.Wake)  # what is owed is reported though nobody asks
     [count] = helpers.only(new.handle(wake.at_ms, api.Due(wake.token)), api.Count)
@@ -85,12 +89,16 @@
     assert handover.take(new, helpers.START, handed, {}) == [] and not new._quota._ledgers
 
 
-@pytest.mark.parametrize("spoil", [
-    lambda head, body: (head.replace(b"STATE %d" % handover.VERSION, b"STATE 1"), body),
-    lambda head, body: (b"NONSENSE", body),
-    lambda head, body: (b"STATE %d 1 999999999" % handover.VERSION, body),
-    lambda head, body: (head, body[:-1] + bytes([body[-1] ^ 1])),
-    lambda head, body: (head, b"\0" * len(body))])
+@pytest.mark.parametrize(
+    "spoil",
+    [
+        lambda head, body: (head.replace(b"STATE %d" % handover.VERSION, b"STATE 1"), body),
+        lambda head, body: (b"NONSENSE", body),
+        lambda head, body: (b"STATE %d 1 999999999" % handover.VERSION, body),
+        lambda head, body: (head, body[:-1] + bytes([body[-1] ^ 1])),
+        lambda head, body: (head, b"\0" * len(body)),
+    ],
+)
 def test_a_spoilt_or_unknown_state_is_not_taken(spoil: Any) -> None:
     head, body = handover.encode(handover.give(used()[0], {1: "s1"})).split(b"\n", 1)
     head, body = spoil(head, body)
@@ -106,10 +114,13 @@
     """The clients' listening socket, held as the platform holds it."""
     listening = socket.create_server((HOST, 0), backlog=512)
     try:
-        async with (Backend() as node, Counter() as counter, Discovery(entry("a", node.port)) as list_):
+        async with Backend() as node, Counter() as counter, Discovery(entry("a", node.port)) as list_:
             made = config(list_.port, counter.port, roster(entry("a", node.port)))
-            yield replace(made, mgmt=(HOST, 0), folder=str(folder), drain_s=0.02,
-                          socket_fd=listening.fileno()), node, counter
+            yield (
+                replace(made, mgmt=(HOST, 0), folder=str(folder), drain_s=0.02, socket_fd=listening.fileno()),
+                node,
+                counter,
+            )
     finally:
         listening.close()
 
@@ -138,6 +149,7 @@
 def test_replacements_in_a_row_lose_nothing_and_charge_each_unit_once(tmp_path: Path) -> None:
     """Queries go on while one process after another takes over: each has its answer on the connection it came
     by, and the counter has been told of what the servers were sent."""
+
     async def test() -> None:
         async with platform(tmp_path) as (made, node, counter):
             app = await started(made)
@@ -190,7 +202,8 @@
 
 @pytest.mark.parametrize("left", ["stale", "spoilt", "silent", "file"])
 def test_without_a_sound_predecessor_it_starts_as_after_a_crash(
-        left: str, tmp_path: Path, caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch) -> None:
+    left: str, tmp_path: Path, caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
+) -> None:
     monkeypatch.setattr(link, "STEP_S", 0.1)
 
     async def answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -22,7 +22,9 @@
     monkeypatch.setenv("PYTEST_DISABLE_PLUGIN_AUTOLOAD", "1")
 
 
-def play(pytester: pytest.Pytester, listed: str | None, files: dict[str, str], *args: str) -> pytest.RunResult:
+def play(
+    pytester: pytest.Pytester, listed: str | None, files: dict[str, str], *args: str
+) -> pytest.RunResult:
     """A run in a folder with these files and this list."""
     pytester.makeini("[pytest]")
     pytester.makeconftest(Path(conftest.__file__).read_text(encoding="utf-8"))
@@ -32,57 +34,122 @@
     return pytester.runpytest_inprocess("-q", "-p", "no:cacheprovider", *args)
 
 
-@pytest.mark.parametrize(("listed", "files", "args", "code", "said"), [
-    # Only what is listed may fail, and it is printed.
-    (BAD, {"test_a": TWO}, (), OK, "known red: test_a.py::test_bad | it is planted | 7: failed"),
-    (BAD, {"test_a": TWO, "test_b": TWO}, (), FAILED, "FAILED test_b.py::test_bad*"),
-    (None, {"test_a": "def test_good(): pass"}, (), OK, "known red: none"),
-    ("", {"test_a": "def test_good(): pass"}, (), OK, "known red: none"),
-    (None, {"test_a": TWO}, (), FAILED, "FAILED test_a.py::test_bad*"),
-    # Its set-up and its end have to be good.
-    (BAD, {"test_a": "import pytest\n@pytest.fixture\ndef no(): assert False\ndef test_bad(no): pass"}, (), FAILED,
-     "ERROR test_a.py::test_bad*"),
-    (BAD, {"test_a": "import pytest\n@pytest.fixture\ndef no():\n    yield\n    assert False\n"
-                     "def test_bad(no): assert False"}, (), FAILED, "ERROR test_a.py::test_bad*"),
-    # What is listed and passes, or is not there, fails the run.
-    ("test_a.py::test_good | none | 7\n", {"test_a": TWO}, ("-k", "good"), FAILED, "*it passes: take its line out*"),
-    (GONE, {"test_a": TWO}, (), USAGE, "*there is no test test_a.py::test_gone*"),
-    (GONE, {"test_a": TWO}, ("test_a.py",), USAGE, "*there is no test test_a.py::test_gone*"),
-    (GONE, {"test_a": TWO}, ("-k", "good"), USAGE, "*there is no test test_a.py::test_gone*"),
-    ("test_no.py::test_bad | none | 7\n", {"test_a": TWO}, ("test_a.py::test_good",), USAGE, "*there is no test *"),
-    # A run of some tests asks for the others neither.
-    (BAD, {"test_a": TWO}, ("test_a.py::test_good",), OK, "known red: test_a.py::test_bad *not run"),
-    (BAD, {"test_a": TWO, "test_b": "def test_good(): pass"}, ("test_b.py",), OK, "known red: test_a.py::*not run"),
-    (BAD, {"test_a": TWO}, ("-k", "good"), OK, "known red: test_a.py::test_bad *not run"),
-    # The list itself.
-    (FOUR, {"test_a": TWO}, (), USAGE, "*4 tests, 3 at the most*"),
-    (BAD + BAD, {"test_a": TWO}, (), USAGE, "*KNOWN-RED.txt:2: test_a.py::test_bad is listed already"),
-    ("test_a.py::test_bad | 7\n", {"test_a": TWO}, (), USAGE, "*KNOWN-RED.txt:1: expected TEST | CAUSE | ISSUE"),
-    ("test_a.py::test_bad |  | 7\n", {"test_a": TWO}, (), USAGE, "*KNOWN-RED.txt:1: expected TEST | CAUSE | ISSUE"),
-])
-def test_only_what_is_listed_may_fail(pytester: pytest.Pytester, listed: str | None, files: dict[str, str],
-                                      args: tuple[str, ...], code: int, said: str) -> None:
+@pytest.mark.parametrize(
+    ("listed", "files", "args", "code", "said"),
+    [
+        # Only what is listed may fail, and it is printed.
+        (BAD, {"test_a": TWO}, (), OK, "known red: test_a.py::test_bad | it is planted | 7: failed"),
+        (BAD, {"test_a": TWO, "test_b": TWO}, (), FAILED, "FAILED test_b.py::test_bad*"),
+        (None, {"test_a": "def test_good(): pass"}, (), OK, "known red: none"),
+        ("", {"test_a": "def test_good(): pass"}, (), OK, "known red: none"),
+        (None, {"test_a": TWO}, (), FAILED, "FAILED test_a.py::test_bad*"),
+        # Its set-up and its end have to be good.
+        (
+            BAD,
+            {"test_a": "import pytest\n@pytest.fixture\ndef no(): assert False\ndef test_bad(no): pass"},
+            (),
+            FAILED,
+            "ERROR test_a.py::test_bad*",
+        ),
+        (
+            BAD,
+            {
+                "test_a": "import pytest\n@pytest.fixture\ndef no():\n    yield\n    assert False\n"
+                "def test_bad(no): assert False"
+            },
+            (),
+            FAILED,
+            "ERROR test_a.py::test_bad*",
+        ),
+        # What is listed and passes, or is not there, fails the run.
+        (
+            "test_a.py::test_good | none | 7\n",
+            {"test_a": TWO},
+            ("-k", "good"),
+            FAILED,
+            "*it passes: take its line out*",
+        ),
+        (GONE, {"test_a": TWO}, (), USAGE, "*there is no test test_a.py::test_gone*"),
+        (GONE, {"test_a": TWO}, ("test_a.py",), USAGE, "*there is no test test_a.py::test_gone*"),
+        (GONE, {"test_a": TWO}, ("-k", "good"), USAGE, "*there is no test test_a.py::test_gone*"),
+        (
+            "test_no.py::test_bad | none | 7\n",
+            {"test_a": TWO},
+            ("test_a.py::test_good",),
+            USAGE,
+            "*there is no test *",
+        ),
+        # A run of some tests asks for the others neither.
+        (BAD, {"test_a": TWO}, ("test_a.py::test_good",), OK, "known red: test_a.py::test_bad *not run"),
+        (
+            BAD,
+            {"test_a": TWO, "test_b": "def test_good(): pass"},
+            ("test_b.py",),
+            OK,
+            "known red: test_a.py::*not run",
+        ),
+        (BAD, {"test_a": TWO}, ("-k", "good"), OK, "known red: test_a.py::test_bad *not run"),
+        # The list itself.
+        (FOUR, {"test_a": TWO}, (), USAGE, "*4 tests, 3 at the most*"),
+        (BAD + BAD, {"test_a": TWO}, (), USAGE, "*KNOWN-RED.txt:2: test_a.py::test_bad is listed already"),
+        (
+            "test_a.py::test_bad | 7\n",
+            {"test_a": TWO},
+            (),
+            USAGE,
+            "*KNOWN-RED.txt:1: expected TEST | CAUSE | ISSUE",
+        ),
+        (
+            "test_a.py::test_bad |  | 7\n",
+            {"test_a": TWO},
+            (),
+            USAGE,
+            "*KNOWN-RED.txt:1: expected TEST | CAUSE | ISSUE",
+        ),
+    ],
+)
+def test_only_what_is_listed_may_fail(
+    pytester: pytest.Pytester,
+    listed: str | None,
+    files: dict[str, str],
+    args: tuple[str, ...],
+    code: int,
+    said: str,
+) -> None:
     made = play(pytester, listed, files, *args)
     assert made.ret == code
     (made.stderr if code == USAGE else made.stdout).fnmatch_lines([said])
 
 
-@pytest.mark.parametrize(("body", "code"), [
-    ("import pytest\n@pytest.mark.skip\ndef test_x(): pass", USAGE),
-    ("import pytest\n@pytest.mark.skipif(False, reason='x')\ndef test_x(): pass", USAGE),
-    ("import pytest\n@pytest.mark.xfail(strict=True)\ndef test_x(): assert False", USAGE),
-    ("import pytest\npytestmark = pytest.mark.xfail\ndef test_x(): pass", USAGE),
-    ("import pytest\n@pytest.mark.parametrize('x', [pytest.param(1, marks=pytest.mark.xfail)])\n"
-     "def test_x(x): assert False", USAGE),
-    ("import pytest\ndef test_x(): pytest.skip('x')", FAILED),
-    ("import pytest\ndef test_x(): pytest.xfail('x')", FAILED),
-    ("import pytest\ndef test_x(request):\n    request.applymarker(pytest.mark.xfail)\n    assert False", FAILED),
-    ("import pytest\n@pytest.fixture\ndef no(): pytest.skip('x')\ndef test_x(no): pass", FAILED),
-    ("import unittest\nclass TestX(unittest.TestCase):\n    @unittest.skip('x')\n    def test_x(self): pass", FAILED),
-    ("import pytest\npytest.importorskip('no_such_module')\ndef test_x(): pass", USAGE),
-])
+@pytest.mark.parametrize(
+    ("body", "code"),
+    [
+        ("import pytest\n@pytest.mark.skip\ndef test_x(): pass", USAGE),
+        ("import pytest\n@pytest.mark.skipif(False, reason='x')\ndef test_x(): pass", USAGE),
+        ("import pytest\n@pytest.mark.xfail(strict=True)\ndef test_x(): assert False", USAGE),
+        ("import pytest\npytestmark = pytest.mark.xfail\ndef test_x(): pass", USAGE),
+        (
+            "import pytest\n@pytest.mark.parametrize('x', [pytest.param(1, marks=pytest.mark.xfail)])\n"
+            "def test_x(x): assert False",
+            USAGE,
+        ),
+        ("import pytest\ndef test_x(): pytest.skip('x')", FAILED),
+        ("import pytest\ndef test_x(): pytest.xfail('x')", FAILED),
+        (
+            "import pytest\ndef test_x(request):\n    request.applymarker(pytest.mark.xfail)\n    assert False",
+            FAILED,
+        ),
+        ("import pytest\n@pytest.fixture\ndef no(): pytest.skip('x')\ndef test_x(no): pass", FAILED),
+        (
+            "import unittest\nclass TestX(unittest.TestCase):\n    @unittest.skip('x')\n    def test_x(self): pass",
+            FAILED,
+        ),
+        ("import pytest\npytest.importorskip('no_such_module')\ndef test_x(): pass", USAGE),
+    ],
+)
 @pytest.mark.parametrize("listed", [None, "test_a.py::test_x | none | 7\n"])
 def test_no_skip_and_no_expected_failure_passes(
-        pytester: pytest.Pytester, body: str, code: int, listed: str | None) -> None:
+    pytester: pytest.Pytester, body: str, code: int, listed: str | None
+) -> None:
     made = play(pytester, listed, {"test_a": body})
     assert made.ret != OK and (listed or made.ret == code)
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -26,19 +26,29 @@
 CROWD = "(customers 2 (plan p))"
 
 
-@pytest.mark.parametrize(("text", "where", "words"), [
-    ("(scenario a (gatewys 3))", (1, 14), ("gatewys", "gateways")),
-    (f"(scenario a {PLAN} {CROWD}\n (at 10 (kill counter)))", (2, 6), ("time", "'10'")),
-    (f"(scenario a {PLAN} {CROWD}\n (at 10s (kil counter)))", (2, 11), ("kil", "kill")),
-    (f"(scenario a {PLAN}\n (customers 2 (plan q)))", (2, 21), ("'q'",)),
-    (f"(scenario a {PLAN} {CROWD}\n (at 1s (split counter (1) (2))))", (2, 9), ("each gateway from 1 to 3",)),
-    (f"(scenario a {PLAN} {CROWD}\n (length 40s) (length 40s))", (2, 15), ("twice",)),
-    ("(scenario a (plan p (rate 5u) (burst 10u)))", (1, 27), ("rate", "'5u'")),
-    ("(scenario a (length 7..4s))", (1, 21), ("downwards",)),
-    ("(scenario a\n (length 40s)", (2, 14), (") is missing",)),
-    ("(scenario a ))", (1, 14), ("unexpected",)), ("(scene a)", (1, 1), ("scenario",))])
+@pytest.mark.parametrize(
+    ("text", "where", "words"),
+    [
+        ("(scenario a (gatewys 3))", (1, 14), ("gatewys", "gateways")),
+        (f"(scenario a {PLAN} {CROWD}\n (at 10 (kill counter)))", (2, 6), ("time", "'10'")),
+        (f"(scenario a {PLAN} {CROWD}\n (at 10s (kil counter)))", (2, 11), ("kil", "kill")),
+        (f"(scenario a {PLAN}\n (customers 2 (plan q)))", (2, 21), ("'q'",)),
+        (
+            f"(scenario a {PLAN} {CROWD}\n (at 1s (split counter (1) (2))))",
+            (2, 9),
+            ("each gateway from 1 to 3",),
+        ),
+        (f"(scenario a {PLAN} {CROWD}\n (length 40s) (length 40s))", (2, 15), ("twice",)),
+        ("(scenario a (plan p (rate 5u) (burst 10u)))", (1, 27), ("rate", "'5u'")),
+        ("(scenario a (length 7..4s))", (1, 21), ("downwards",)),
+        ("(scenario a\n (length 40s)", (2, 14), (") is missing",)),
+        ("(scenario a ))", (1, 14), ("unexpected",)),
+        ("(scene a)", (1, 1), ("scenario",)),
+    ],
+)
 def test_a_wrong_text_is_told_by_line_column_and_word(
-        text: str, where: tuple[int, int], words: tuple[str, ...]) -> None:
+    text: str, where: tuple[int, int], words: tuple[str, ...]
+) -> None:
     with pytest.raises(TextError) as caught:
         parse(text)
     assert (caught.value.line, caught.value.column) == where
@@ -46,9 +56,11 @@
 
 
 def test_units_and_ranges() -> None:
-    made = parse("(scenario a (length 2min) (servers 4 (work 0.5s..900ms))"
-                 f"{PLAN} (customers 3 (plan p) (demand 4..7x) (skew 73% every 8s))"
-                 "(at 1s (slow counter 7x)))")
+    made = parse(
+        "(scenario a (length 2min) (servers 4 (work 0.5s..900ms))"
+        f"{PLAN} (customers 3 (plan p) (demand 4..7x) (skew 73% every 8s))"
+        "(at 1s (slow counter 7x)))"
+    )
     assert made.length_ms == 120_000 and made.work_ms == (500.0, 900.0)
     assert made.crowds[0].demand == (4.0, 7.0) and made.crowds[0].busiest == pytest.approx(0.73)
     assert made.faults == (Fault(1000.0, "slow", "counter", amount=7.0, line=1),)
@@ -106,9 +118,15 @@
     assert fates == ["ok"] * 3 + ["full"] * 3
 
 
-@pytest.mark.parametrize(("data", "value"), [
-    (b"$3\r\nabc\r\n", b"abc"), (b"*2\r\n$1\r\na\r\n-ERR x\r\n", [b"a", "-ERR x"]), (b"$-1\r\n", None),
-    (b"+PONG\r\n", "+PONG")])
+@pytest.mark.parametrize(
+    ("data", "value"),
+    [
+        (b"$3\r\nabc\r\n", b"abc"),
+        (b"*2\r\n$1\r\na\r\n-ERR x\r\n", [b"a", "-ERR x"]),
+        (b"$-1\r\n", None),
+        (b"+PONG\r\n", "+PONG"),
+    ],
+)
 def test_the_emulators_own_resp(data: bytes, value: object) -> None:
     assert _value(data, 0) == (value, len(data))
     assert all(_value(data[:cut], 0) is None for cut in range(len(data)))
@@ -160,4 +178,5 @@
                 break
         assert not await door.ping(0.05)
         return said
+
     assert asyncio.run(ask()) == ["lost"]
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -54,11 +54,16 @@
     play(test)
 
 
-@pytest.mark.parametrize(("answer", "verdict"), [
-    (b"-BUSY\r\n", Verdict.FULL), (b"-ERR no such call\r\n", Verdict.FULL),
-    (b"$3\r\nabc\r\n", Verdict.TIMEOUT),
-    (b"!!\r\n", Verdict.TIMEOUT), (b"$1\r\n4\r\n$1\r\n4\r\n", Verdict.OK),
-])
+@pytest.mark.parametrize(
+    ("answer", "verdict"),
+    [
+        (b"-BUSY\r\n", Verdict.FULL),
+        (b"-ERR no such call\r\n", Verdict.FULL),
+        (b"$3\r\nabc\r\n", Verdict.TIMEOUT),
+        (b"!!\r\n", Verdict.TIMEOUT),
+        (b"$1\r\n4\r\n$1\r\n4\r\n", Verdict.OK),
+    ],
+)
 def test_what_the_counter_answers_becomes_a_verdict(answer: bytes, verdict: Verdict) -> None:
     async def test() -> None:
         async with Counter() as counter:
@@ -124,8 +129,14 @@
 
     def __init__(self, port: int, known: Roster | None = None) -> None:
         self.told: asyncio.Queue[tuple[Members, dict[int, Any]]] = asyncio.Queue()
-        self.group = HostGroup((HOST, port), known, Turns(asyncio.get_running_loop()),
-                               lambda members, hosts: self.told.put_nowait((members, hosts)), 1, lambda: 0.5)
+        self.group = HostGroup(
+            (HOST, port),
+            known,
+            Turns(asyncio.get_running_loop()),
+            lambda members, hosts: self.told.put_nowait((members, hosts)),
+            1,
+            lambda: 0.5,
+        )
         self.group.start()
 
 
@@ -158,6 +169,7 @@
 
 def test_the_list_known_at_the_start_is_not_gone_by_before_discovery_had_its_time() -> None:
     """What the agent holds counts as told: a fresh gateway would send to a server that drains."""
+
     async def test() -> None:
         async with Discovery(entry("a", 1, "leaving")) as list_:
             watch = Watch(list_.port, roster(entry("a", 1)))
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -27,11 +27,15 @@
 
 
 @asynccontextmanager
-async def operated(script: list[bytes | None] | None = None, drain_s: float = 0.0,
-                   with_counter: bool = False) -> AsyncIterator[tuple[App, Backend]]:
+async def operated(
+    script: list[bytes | None] | None = None, drain_s: float = 0.0, with_counter: bool = False
+) -> AsyncIterator[tuple[App, Backend]]:
     """A gateway with a second address before one backend."""
-    async with (Backend(script=script) as node, Discovery(entry("a", node.port)) as list_,
-                Counter() as counter):
+    async with (
+        Backend(script=script) as node,
+        Discovery(entry("a", node.port)) as list_,
+        Counter() as counter,
+    ):
         made = config(list_.port, counter.port if with_counter else None, roster(entry("a", node.port)))
         async with gateway(replace(made, mgmt=(HOST, 0), drain_s=drain_s)) as app:
             yield app, node
@@ -57,12 +61,21 @@
 # The second address -----------------------------------------------------------------------------------
 
 
-@pytest.mark.parametrize(("line", "begins"), [
-    (b"STATUS\n", "+OK"), (b"STATUS\r\n", "+OK"), (b" STATUS \n", "+OK"), (b"METRICS\n", "+OK"),
-    (b"RESUME\n", "+OK"), (b"\n", "-ERR empty"), (b"status\n", "-ERR unknown"),
-    (b"\xff\x00\n", "-ERR unknown"),
-    (b"x" * 300, "-ERR line too long"), (b"*1\r\n$4\r\nPING\r\n", "-ERR unknown"),
-])
+@pytest.mark.parametrize(
+    ("line", "begins"),
+    [
+        (b"STATUS\n", "+OK"),
+        (b"STATUS\r\n", "+OK"),
+        (b" STATUS \n", "+OK"),
+        (b"METRICS\n", "+OK"),
+        (b"RESUME\n", "+OK"),
+        (b"\n", "-ERR empty"),
+        (b"status\n", "-ERR unknown"),
+        (b"\xff\x00\n", "-ERR unknown"),
+        (b"x" * 300, "-ERR line too long"),
+        (b"*1\r\n$4\r\nPING\r\n", "-ERR unknown"),
+    ],
+)
 def test_each_line_gets_one_answer(line: bytes, begins: str) -> None:
     async def test() -> None:
         async with operated() as (app, _):
@@ -103,8 +116,10 @@
     play(test)
 
 
-@pytest.mark.parametrize(("mgmt", "words"), [
-    ("nowhere", "mgmt: expected IP:PORT"), (f"{HOST}:6379", "mgmt: the same address as listen")])
+@pytest.mark.parametrize(
+    ("mgmt", "words"),
+    [("nowhere", "mgmt: expected IP:PORT"), (f"{HOST}:6379", "mgmt: the same address as listen")],
+)
 def test_a_faulty_second_address_names_its_key(mgmt: str, words: str, tmp_path: Path) -> None:
     raw = {"listen": f"{HOST}:6379", "discovery": f"{HOST}:1", "counter": f"{HOST}:1", "settings": PARAMS}
     path = tmp_path / "config.json"
@@ -135,6 +150,7 @@
 def test_each_way_a_query_can_end_counts_once() -> None:
     """Served, refused for a quota, failed after an error and after a reset: what stand-ins saw and what the
     figures say are equal."""
+
     async def test() -> None:
         script = [None, b"-ERR failed\r\n", b"RESET"]
         async with operated(script=script) as (app, node):
@@ -154,11 +170,18 @@
             flat = [str(one) for answer in answers for one in answer]
             served = sum("value" in one for one in flat) + 1
             refused = sum("BUSY" in one for one in flat)
-            by_result = {result: sum(got[f'lb_downstream_requests{{lane="{lane}",result="{result}"}}']
-                                     for lane in ("balance-check", "load-send"))
-                         for result in ("completed", "rejected", "failed")}
-            assert by_result == {"completed": served, "rejected": refused,
-                                 "failed": len(flat) + 1 - served - refused}
+            by_result = {
+                result: sum(
+                    got[f'lb_downstream_requests{{lane="{lane}",result="{result}"}}']
+                    for lane in ("balance-check", "load-send")
+                )
+                for result in ("completed", "rejected", "failed")
+            }
+            assert by_result == {
+                "completed": served,
+                "rejected": refused,
+                "failed": len(flat) + 1 - served - refused,
+            }
             assert by_result["rejected"] >= 1
             assert got["lb_upstream_requests"] == len(node.commands)
             assert (got["lb_pending"], got["lb_members"]) == (0, 1)
@@ -174,8 +197,16 @@
     for start in State:
         drain = Drain()
         drain.state = start
-        for event in (Event.PAUSE, Event.TERM, Event.RESUME, Event.TURNED, Event.PAUSE, Event.EMPTY,
-                      Event.RESUME, Event.SETTLED):
+        for event in (
+            Event.PAUSE,
+            Event.TERM,
+            Event.RESUME,
+            Event.TURNED,
+            Event.PAUSE,
+            Event.EMPTY,
+            Event.RESUME,
+            Event.SETTLED,
+        ):
             drain.post(event)
         assert drain.state is State.ENDED and drain.ending
     leaves = {state for state, event in TRANSITIONS if Effect.LEAVE in TRANSITIONS[state, event][1]}
@@ -225,7 +256,8 @@
 
 
 def test_a_client_that_never_stops_asking_is_cut_off_behind_an_answer(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     monkeypatch.setattr(client_link_module, "END_TAKES_S", 0.1)
 
     async def test() -> None:
@@ -265,7 +297,8 @@
 
 
 def test_what_comes_behind_a_long_query_while_the_gateway_ends_gets_its_answer(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     """Read and dropped where the connection had stayed open for longer than it takes queries."""
     monkeypatch.setattr(client_link_module, "END_TAKES_S", 0.05)
 
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -34,14 +34,26 @@
     whole = Parser()
     assert whole.feed(data) == values and whole.idle
     pieces = Parser()
-    got = [value for n in range(len(data)) for value in pieces.feed(data[n:n + 1])]
+    got = [value for n in range(len(data)) for value in pieces.feed(data[n : n + 1])]
     assert got == values and [type(v) for v in got] == [type(v) for v in values] and pieces.idle
 
 
-@pytest.mark.parametrize("data", [
-    b"PING\r\n", b"*x\r\n", b"$-2\r\n", b"*17\r\n", b"$65537\r\n", b"$1\r\nab\r\n", b":1.5\r\n", b"$\r\n",
-    b"*1\r\n*1\r\n*1\r\n", b"+" + b"x" * 2000, b"$" + b"9" * 40 + b"\r\n",
-])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"PING\r\n",
+        b"*x\r\n",
+        b"$-2\r\n",
+        b"*17\r\n",
+        b"$65537\r\n",
+        b"$1\r\nab\r\n",
+        b":1.5\r\n",
+        b"$\r\n",
+        b"*1\r\n*1\r\n*1\r\n",
+        b"+" + b"x" * 2000,
+        b"$" + b"9" * 40 + b"\r\n",
+    ],
+)
 def test_what_is_no_resp_or_passes_a_bound_is_told(data: bytes) -> None:
     parser = Parser()
     assert parser.feed(b"+OK\r\n" + data) == [Status(b"OK")]  # what was whole before it counts
@@ -51,25 +63,41 @@
 def test_resp_is_written_so_that_it_reads_back() -> None:
     words = [b"SVC.QUERY", b"", b"\r\n"]
     assert Parser().feed(command(words) + bulk(b"v") + error("ERR two\r\nlines")) == [
-        words, b"v", ErrorReply(b"ERR two lines")]
-
-
-@pytest.mark.parametrize("tail", [
-    b"", b"*2\r\n$1\r\n", b"*1\r\n:5\r\n", b"*1\r\n$3\r\nab", b"+OK\r\n", b"*1\r\n$-1\r\n",
-])
+        words,
+        b"v",
+        ErrorReply(b"ERR two lines"),
+    ]
+
+
+@pytest.mark.parametrize(
+    "tail",
+    [
+        b"",
+        b"*2\r\n$1\r\n",
+        b"*1\r\n:5\r\n",
+        b"*1\r\n$3\r\nab",
+        b"+OK\r\n",
+        b"*1\r\n$-1\r\n",
+    ],
+)
 def test_commands_that_come_whole_are_read_as_those_in_pieces_are(tail: bytes) -> None:
     """They take a shorter way through the parser."""
     data = command([b"SVC.QUERY", b"", b"\r\n$1"]) + command([b"x" * 100]) + tail
     whole, pieces = Parser(), Parser()
-    in_pieces = [value for n in range(len(data)) for value in pieces.feed(data[n:n + 1])]
+    in_pieces = [value for n in range(len(data)) for value in pieces.feed(data[n : n + 1])]
     assert whole.feed(data) == in_pieces and whole.idle == pieces.idle and whole.held == pieces.held
     assert whole.feed(b"$1\r\nx\r\n" * 2) == pieces.feed(b"$1\r\nx\r\n" * 2)
 
 
-@pytest.mark.parametrize("data", [
-    b"*1\r\n$4\r\nPINGxx", b"*01\r\n$99999\r\n", 
-    b"*3\r\n" + 2 * (b"$60\r\n" + b"x" * 60 + b"\r\n"), b"*1\r\n$ 1\r\na\r\n",
-])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"*1\r\n$4\r\nPINGxx",
+        b"*01\r\n$99999\r\n",
+        b"*3\r\n" + 2 * (b"$60\r\n" + b"x" * 60 + b"\r\n"),
+        b"*1\r\n$ 1\r\na\r\n",
+    ],
+)
 def test_the_short_way_knows_the_same_bounds(data: bytes) -> None:
     parser = Parser(max_total=100)
     assert parser.feed(data) == [] and parser.fault
@@ -78,8 +106,14 @@
 BODY = b'{"version":1}'
 HTTP = [
     (b"HTTP/1.1 200 OK\r\nContent-Length: 13\r\n\r\n" + BODY, True),
-    (b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\n" + BODY[:4] + b"\r\n9;x=1\r\n" + BODY[4:]
-     + b"\r\n0\r\n\r\n", True),
+    (
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\n"
+        + BODY[:4]
+        + b"\r\n9;x=1\r\n"
+        + BODY[4:]
+        + b"\r\n0\r\n\r\n",
+        True,
+    ),
     (b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 13\r\n\r\n" + BODY, False),
     (b"HTTP/1.1 103 Early Hints\r\nX: 1\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 13\r\n\r\n" + BODY, True),
 ]
@@ -88,60 +122,86 @@
 @pytest.mark.parametrize(("data", "keep"), HTTP)
 def test_an_http_response_is_read_in_any_pieces(data: bytes, keep: bool) -> None:
     response = Response()
-    assert [response.feed(data[n:n + 1]) for n in range(len(data))] == [False] * (len(data) - 1) + [True]
+    assert [response.feed(data[n : n + 1]) for n in range(len(data))] == [False] * (len(data) - 1) + [True]
     assert (response.status, bytes(response.body), response.keep) == (200, BODY, keep)
 
 
-@pytest.mark.parametrize("data", [
-    b"ICY 200\r\n\r\n", b"HTTP/1.1 503 Service Unavailable\r\n\r\n", b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
-    b"HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n", b"x" * 20_000,
-    b"HTTP/1.1 200 OK\r\n" + b"A: b\r\n" * 20_000,
-    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
-])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"ICY 200\r\n\r\n",
+        b"HTTP/1.1 503 Service Unavailable\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n",
+        b"x" * 20_000,
+        b"HTTP/1.1 200 OK\r\n" + b"A: b\r\n" * 20_000,
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+    ],
+)
 def test_a_malformed_http_response_is_told(data: bytes) -> None:
     with pytest.raises(ValueError):
         Response().feed(data)
 
 
-@pytest.mark.parametrize("raw", [
-    None, [], {}, {"servers": [1]}, {"servers": [{"id": 1}]},
-    {"servers": [{**entry("a", 1), "state": "odd"}]},
-    {"servers": [{**entry("a", 1), "addr": "nowhere"}]}, {"servers": [{**entry("a", 1), "weight": "x"}]},
-    {"servers": [{**entry("a", 1), "state": []}]},
-    {"servers": [{**entry("a", 1), "started_ms": True}]}, {"version": "1", "servers": []},
-    # What floats cannot hold, and names, which would be looked up in the event loop, or are none.
-    {"servers": [{**entry("a", 1), "weight": 10 ** 400}]}, {"servers": [{**entry("a", 1), "addr": "runner:80"}]},
-    {"servers": [{**entry("a", 1), "addr": "a\0b:80"}]},
-    {"servers": [{**entry("a", 1), "addr": "127.0.0.1:\u0663"}]},
-])
+@pytest.mark.parametrize(
+    "raw",
+    [
+        None,
+        [],
+        {},
+        {"servers": [1]},
+        {"servers": [{"id": 1}]},
+        {"servers": [{**entry("a", 1), "state": "odd"}]},
+        {"servers": [{**entry("a", 1), "addr": "nowhere"}]},
+        {"servers": [{**entry("a", 1), "weight": "x"}]},
+        {"servers": [{**entry("a", 1), "state": []}]},
+        {"servers": [{**entry("a", 1), "started_ms": True}]},
+        {"version": "1", "servers": []},
+        # What floats cannot hold, and names, which would be looked up in the event loop, or are none.
+        {"servers": [{**entry("a", 1), "weight": 10**400}]},
+        {"servers": [{**entry("a", 1), "addr": "runner:80"}]},
+        {"servers": [{**entry("a", 1), "addr": "a\0b:80"}]},
+        {"servers": [{**entry("a", 1), "addr": "127.0.0.1:\u0663"}]},
+    ],
+)
 def test_a_malformed_list_is_told(raw: Any) -> None:
     with pytest.raises(ValueError):
         read_roster(raw)
 
 
-@pytest.mark.parametrize(("reply", "total"), [
-    (b"12.5", 12.5), (b"-3", -3.0), (b"nan", None), (b"x", None), (7, None), (ErrorReply(b"BUSY"), None)])
+@pytest.mark.parametrize(
+    ("reply", "total"),
+    [(b"12.5", 12.5), (b"-3", -3.0), (b"nan", None), (b"x", None), (7, None), (ErrorReply(b"BUSY"), None)],
+)
 def test_a_total_is_a_finite_number_in_a_bulk_string(reply: Any, total: float | None) -> None:
     assert read_total(reply) == total
 
 
 def test_a_counter_call_is_in_bounds() -> None:
     assert Parser().feed(encode_call(7, -2.5, 1e6) + encode_call(7, 0.0, 0.0)) == [
-        [b"INCRTTL", b"7", b"-2.5", b"60000"], [b"INCRTTL", b"7", b"0", b"1"]]
+        [b"INCRTTL", b"7", b"-2.5", b"60000"],
+        [b"INCRTTL", b"7", b"0", b"1"],
+    ]
 
 
 def test_diameter_is_framed_in_any_pieces() -> None:
     data = ccr(7) + ccr(8, number=1)
     framer = codec.Framer()
-    got = [m for n in range(len(data)) for m in framer.feed(data[n:n + 1])]
+    got = [m for n in range(len(data)) for m in framer.feed(data[n : n + 1])]
     assert [m.end_to_end for m in got] == [7, 8] and not framer.cut and framer.fault is None
     assert b"".join(m.encode() for m in got) == data
 
 
-@pytest.mark.parametrize(("body", "result"), [
-    (b"\0" * 4, 5014), (struct.pack(">II", 1, 7), 5014), (struct.pack(">II", 1, 100), 5014),
-    (struct.pack(">II", 1, 0x80 << 24 | 8), 5014), (avp(1, b"") * 200, 5012),
-])
+@pytest.mark.parametrize(
+    ("body", "result"),
+    [
+        (b"\0" * 4, 5014),
+        (struct.pack(">II", 1, 7), 5014),
+        (struct.pack(">II", 1, 100), 5014),
+        (struct.pack(">II", 1, 0x80 << 24 | 8), 5014),
+        (avp(1, b"") * 200, 5012),
+    ],
+)
 def test_broken_avps_are_a_fault_with_a_result_code(body: bytes, result: int) -> None:
     fault = codec.read_avps(body)
     assert isinstance(fault, codec.Fault) and fault.result == result
@@ -156,8 +216,13 @@
 
 def test_the_key_derives_from_the_identity_alone_and_from_all_of_it() -> None:
     one = Identity("h", 1, "s", 0)
-    others = [Identity("h2", 1, "s", 0), Identity("h", 2, "s", 0), Identity("h", 1, "t", 0),
-              Identity("h", 1, "s", 1), Identity("h1", 1, "s", 0)]
+    others = [
+        Identity("h2", 1, "s", 0),
+        Identity("h", 2, "s", 0),
+        Identity("h", 1, "t", 0),
+        Identity("h", 1, "s", 1),
+        Identity("h1", 1, "s", 0),
+    ]
     assert one.key() == Identity("h", 1, "s", 0).key() == "47218e1462e4d40f"
     assert len({one.key(), *(other.key() for other in others)}) == 6
 
@@ -166,6 +231,7 @@
     at = [0.0]
     repeats = Repeats(240.0, lambda: at[0], most=1)
     from badgeryoke.core import Failed
+
     first = Identity("h", 1, "s", 0)
     entry_ = repeats.begin(first)
     assert entry_ is not None and repeats.begin(Identity("h", 2, "t", 0)) is None  # full
@@ -177,10 +243,15 @@
 
 
 GOOD: dict[str, Any] = {
-    "name": "n3", "listen": "127.0.0.1:6379", "discovery": "127.0.0.1:8500", "seed": "8c1f",
+    "name": "n3",
+    "listen": "127.0.0.1:6379",
+    "discovery": "127.0.0.1:8500",
+    "seed": "8c1f",
     "counter": "127.0.0.1:1",
-    "limits": {"sockets": 512}, "known": {"version": 1, "full": True, "servers": [entry("a", 1)]},
-    "settings": PARAMS}
+    "limits": {"sockets": 512},
+    "known": {"version": 1, "full": True, "servers": [entry("a", 1)]},
+    "settings": PARAMS,
+}
 
 
 def written(tmp_path: Path, raw: Any, diameter: str = "") -> dict[str, str]:
@@ -198,18 +269,29 @@
     assert made.known is not None and made.known.hosts[0].id == "a"
 
 
-@pytest.mark.parametrize(("change", "key"), [
-    ({"listen": "x"}, "LB_LISTEN"), ({"discovery": None}, "LB_DISCOVERY"), ({"counter": None}, "counter"),
-    ({"counter": "a:b"}, "counter"), ({"counter": "localhost:80"}, "counter: expected IP:PORT"),
-    ({"seed": "xyz"}, "seed"), ({"limits": 3}, "limits"),
-    ({"limits": {"sockets": "many"}}, "limits.sockets"), ({"known": {"servers": 1}}, "known.servers"),
-    ({"known": {"servers": [{**entry("a", 1), "addr": "x"}]}}, "known.servers: addr: expected IP:PORT"),
-    ({"known": {"version": 10 ** 400, "servers": []}}, "known.version"),
-    ({"settings": None}, "settings"), ({"settings": {**PARAMS, "me": None}}, "setting me: expected a number"),
-    ({"settings": {k: v for k, v in PARAMS.items() if k != "rules"}}, "rules"),
-    ({"settings": {**PARAMS, "policy_limits": {**PARAMS["policy_limits"], "conn_idle_ms": 0}}},
-     "setting policy_limits.conn_idle_ms"),
-])
+@pytest.mark.parametrize(
+    ("change", "key"),
+    [
+        ({"listen": "x"}, "LB_LISTEN"),
+        ({"discovery": None}, "LB_DISCOVERY"),
+        ({"counter": None}, "counter"),
+        ({"counter": "a:b"}, "counter"),
+        ({"counter": "localhost:80"}, "counter: expected IP:PORT"),
+        ({"seed": "xyz"}, "seed"),
+        ({"limits": 3}, "limits"),
+        ({"limits": {"sockets": "many"}}, "limits.sockets"),
+        ({"known": {"servers": 1}}, "known.servers"),
+        ({"known": {"servers": [{**entry("a", 1), "addr": "x"}]}}, "known.servers: addr: expected IP:PORT"),
+        ({"known": {"version": 10**400, "servers": []}}, "known.version"),
+        ({"settings": None}, "settings"),
+        ({"settings": {**PARAMS, "me": None}}, "setting me: expected a number"),
+        ({"settings": {k: v for k, v in PARAMS.items() if k != "rules"}}, "rules"),
+        (
+            {"settings": {**PARAMS, "policy_limits": {**PARAMS["policy_limits"], "conn_idle_ms": 0}}},
+            "setting policy_limits.conn_idle_ms",
+        ),
+    ],
+)
 def test_faulty_configuration_names_its_key(change: dict[str, Any], key: str, tmp_path: Path) -> None:
     with pytest.raises(ConfigError, match=key):
         read_config(written(tmp_path, {**GOOD, **change}), tmp_path)
@@ -225,14 +307,25 @@
 ON = 'enabled = true\norigin_host = "g.example"\norigin_realm = "example"\n'
 
 
-@pytest.mark.parametrize(("text", "key"), [
-    ("enabled = 1", "enabled"), ("enabled = true", "origin_host"), (ON + 'listen = "x"', "listen"),
-    (ON + 'listen = "192.0.2.1:3868"', "listen"), (ON + 'clients = "a"', "clients"),
-    (ON + "watchdog_s = 1", "watchdog_s"), (ON + '[plans]\nx = "plain"', "plans.x"),
-    (ON + '[plans]\n1 = "gold"', "plans.1"), ("enabled", "diameter.toml"), (ON + "[plans]\n1 = 1", "plans.1"),
-    (ON + '[classes]\ncheck = "gold"', "classes.check"), (ON + '[classes]\ndebit = "read"', "classes.debit"),
-    (ON + '[classes]\npay = "read"', "classes.pay"), (ON + "[classes]\ncheck = []", "classes.check"),
-])
+@pytest.mark.parametrize(
+    ("text", "key"),
+    [
+        ("enabled = 1", "enabled"),
+        ("enabled = true", "origin_host"),
+        (ON + 'listen = "x"', "listen"),
+        (ON + 'listen = "192.0.2.1:3868"', "listen"),
+        (ON + 'clients = "a"', "clients"),
+        (ON + "watchdog_s = 1", "watchdog_s"),
+        (ON + '[plans]\nx = "plain"', "plans.x"),
+        (ON + '[plans]\n1 = "gold"', "plans.1"),
+        ("enabled", "diameter.toml"),
+        (ON + "[plans]\n1 = 1", "plans.1"),
+        (ON + '[classes]\ncheck = "gold"', "classes.check"),
+        (ON + '[classes]\ndebit = "read"', "classes.debit"),
+        (ON + '[classes]\npay = "read"', "classes.pay"),
+        (ON + "[classes]\ncheck = []", "classes.check"),
+    ],
+)
 def test_a_faulty_deploy_file_names_its_key(text: str, key: str, tmp_path: Path) -> None:
     with pytest.raises(ConfigError, match=key):
         read_config(written(tmp_path, GOOD, text), tmp_path)
@@ -243,12 +336,16 @@
     made = read_config(written(tmp_path, GOOD, text), tmp_path)
     assert made.diameter is not None and made.diameter.plans == {1: "plain"}
     assert made.diameter.listen == ("127.0.0.1", 3868) and made.diameter.check_class == "read"
-    alone = read_diameter(tmp_path / "deploy/diameter.toml", Settings(0, 1, "", 1.0, (), ()))  # badgeryoke check
+    alone = read_diameter(
+        tmp_path / "deploy/diameter.toml", Settings(0, 1, "", 1.0, (), ())
+    )  # badgeryoke check
     assert alone == made.diameter
 
 
 def test_the_deploy_file_in_the_repository_is_off_and_sound(tmp_path: Path) -> None:
     text = (Path(__file__).parent.parent / "deploy/diameter.toml").read_text()
-    assert read_config(written(tmp_path, GOOD, text), tmp_path).diameter is None  # and names no plan of any site
+    assert (
+        read_config(written(tmp_path, GOOD, text), tmp_path).diameter is None
+    )  # and names no plan of any site
     (tmp_path / "deploy/diameter.toml").write_text(text.replace("enabled = false", "enabled = true"))
     assert read_config({"LB_CONFIG": str(tmp_path / "config.json")}, tmp_path).diameter is not None
--- a/tests/test_plans.py
+++ b/tests/test_plans.py
@@ -50,16 +50,24 @@
     assert isinstance(made.call_off(NOW + 9000.0, "dealer", 1), Fault)
 
 
-@pytest.mark.parametrize(("plan", "number", "ahead", "figures", "key"), [
-    ("delaer", 1, 5000.0, LESS, "plan"), ("dealer", 2, 5000.0, LESS, "number"),
-    ("dealer", 0, 5000.0, LESS, "number"), ("dealer", 1, LEAD_MS - 1, LESS, "holds_from_ms"),
-    ("dealer", 1, math.nan, LESS, "holds_from_ms"), ("dealer", 1, 5000.0, Figures(-1.0, 1.0), "figures.rate"),
-    ("dealer", 1, 5000.0, Figures(1.0, math.inf), "figures.burst"),
-    ("dealer", 1, 5000.0, Figures(1.0, 0.0), "figures.burst"),
-    ("dealer", 1, 5000.0, Figures(9.0, 9.0, 8.0, 20.0), "figures.ceiling_rate"),
-    ("dealer", 1, 5000.0, Figures(9.0, 9.0, 20.0, 8.0), "figures.ceiling_burst")])
+@pytest.mark.parametrize(
+    ("plan", "number", "ahead", "figures", "key"),
+    [
+        ("delaer", 1, 5000.0, LESS, "plan"),
+        ("dealer", 2, 5000.0, LESS, "number"),
+        ("dealer", 0, 5000.0, LESS, "number"),
+        ("dealer", 1, LEAD_MS - 1, LESS, "holds_from_ms"),
+        ("dealer", 1, math.nan, LESS, "holds_from_ms"),
+        ("dealer", 1, 5000.0, Figures(-1.0, 1.0), "figures.rate"),
+        ("dealer", 1, 5000.0, Figures(1.0, math.inf), "figures.burst"),
+        ("dealer", 1, 5000.0, Figures(1.0, 0.0), "figures.burst"),
+        ("dealer", 1, 5000.0, Figures(9.0, 9.0, 8.0, 20.0), "figures.ceiling_rate"),
+        ("dealer", 1, 5000.0, Figures(9.0, 9.0, 20.0, 8.0), "figures.ceiling_burst"),
+    ],
+)
 def test_a_faulty_change_names_its_key_and_leaves_the_old_version(
-        plan: str, number: int, ahead: float, figures: Figures, key: str) -> None:
+    plan: str, number: int, ahead: float, figures: Figures, key: str
+) -> None:
     made = book()
     fault = made.announce(NOW, plan, number, NOW + ahead, figures)
     assert isinstance(fault, Fault) and fault.key == key and fault.problem
@@ -75,8 +83,10 @@
 
 def test_versions_that_wait_are_bounded_and_old_ones_forgotten() -> None:
     made = book()
-    told = [made.announce(NOW, "dealer", number + 1, NOW + 5000.0 * (number + 1), LESS)
-            for number in range(MOST_AHEAD + 1)]
+    told = [
+        made.announce(NOW, "dealer", number + 1, NOW + 5000.0 * (number + 1), LESS)
+        for number in range(MOST_AHEAD + 1)
+    ]
     assert [isinstance(one, Fault) for one in told] == [False] * MOST_AHEAD + [True]
     for number in range(9, 60):
         now = NOW + 1e6 * number
@@ -93,10 +103,19 @@
     assert isinstance(made.figures(NOW, "no-plan", 8), Fault)
 
 
-@pytest.mark.parametrize(("room", "new", "expected"), [
-    (40.0, LESS, 20.0), (30.0, LESS, 10.0), (20.0, LESS, 0.0), (10.0, LESS, -10.0),  # cuts: used stays used
-    (-30.0, LESS, -25.0),  # a debt that would last longer than the bound
-    (40.0, MORE, 40.0), (0.0, MORE, 0.0), (-5.0, MORE, -5.0)])  # a rise gives no free burst
+@pytest.mark.parametrize(
+    ("room", "new", "expected"),
+    [
+        (40.0, LESS, 20.0),
+        (30.0, LESS, 10.0),
+        (20.0, LESS, 0.0),
+        (10.0, LESS, -10.0),  # cuts: used stays used
+        (-30.0, LESS, -25.0),  # a debt that would last longer than the bound
+        (40.0, MORE, 40.0),
+        (0.0, MORE, 0.0),
+        (-5.0, MORE, -5.0),
+    ],
+)  # a rise gives no free burst
 def test_a_store_is_carried_over(room: float, new: Figures, expected: float) -> None:
     assert carry_quota(Held(room), OLD, new).room == expected
     tat = arrival_of(NOW, expected, new)
@@ -122,7 +141,8 @@
 @settings(max_examples=200, deadline=None, derandomize=True)
 @given(DEPTHS, st.floats(-1.0, 1.0), st.floats(0.5, 50.0))
 def test_no_order_of_changes_gives_units_or_locks_a_customer_out(
-        depths: list[float], part: float, rate: float) -> None:
+    depths: list[float], part: float, rate: float
+) -> None:
     store, ceiling = Held(depths[0] * part), Held(depths[0] * part)
     used = depths[0] - ceiling.room
     most = rate * DEBT_MOST_MS / 1000.0
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -378,8 +378,15 @@
     for n in range(600):
         units[f"r{n}"] = float(draw.randint(1, 6))
         at = START + 25.0 * n
-        heapq.heappush(due, (at, -n, draw.randrange(4), request(
-            f"r{n}", plan="capped", units=units[f"r{n}"], spread=4, remaining=2000.0)))
+        heapq.heappush(
+            due,
+            (
+                at,
+                -n,
+                draw.randrange(4),
+                request(f"r{n}", plan="capped", units=units[f"r{n}"], spread=4, remaining=2000.0),
+            ),
+        )
     order = 0
     while due:
         now, _, me, event = heapq.heappop(due)
@@ -394,15 +401,19 @@
                 case api.Count(name=name, units=amount):
                     good = draw.random() < answered
                     totals[name] = totals.get(name, 0.0) + amount * good
-                    total = (api.Total(name, api.Verdict.OK, 2.0, totals[name]) if good else
-                             api.Total(name, api.Verdict.TIMEOUT, 50.0))
+                    total = (
+                        api.Total(name, api.Verdict.OK, 2.0, totals[name])
+                        if good
+                        else api.Total(name, api.Verdict.TIMEOUT, 50.0)
+                    )
                     heapq.heappush(due, (now + total.rtt_ms, order, me, total))
     assert -plan.ceiling_slack <= lowest < plan.ceiling_burst
 
 
 @pytest.mark.parametrize(("takes_ms", "grows"), [(15.0, True), (40.0, False)])
-def test_a_counter_that_is_slow_for_all_is_no_crowd_and_one_that_becomes_slow_is(takes_ms: float,
-                                                                                  grows: bool) -> None:
+def test_a_counter_that_is_slow_for_all_is_no_crowd_and_one_that_becomes_slow_is(
+    takes_ms: float, grows: bool
+) -> None:
     """One that never took less than 15 of 50 ms was hardly asked any more."""
     made = gateway()
     quota = made._quota
--- a/tests/test_random_settings.py
+++ b/tests/test_random_settings.py
@@ -23,20 +23,49 @@
     for n in range(draw.randrange(1, 4)):
         deadline = draw.choice([80.0, 600.0, 3000.0])
         window = draw.choice([0.0, 1.0, 0.2 * deadline, 0.9 * deadline, 5 * deadline])
-        classes.append(api.RequestClass(f"c{n}", draw.choice([0.2, 0.7, 1.0]) * deadline, deadline,
-                                        draw.choice(list(api.Effect)), draw.choice(list(api.Group)), window))
+        classes.append(
+            api.RequestClass(
+                f"c{n}",
+                draw.choice([0.2, 0.7, 1.0]) * deadline,
+                deadline,
+                draw.choice(list(api.Effect)),
+                draw.choice(list(api.Group)),
+                window,
+            )
+        )
     plans = []
     for n in range(3):
         rate = draw.choice([0.0, 0.5, 20.0])
         ceiling = draw.choice([0.0, 2.0]) * rate
-        plans.append(api.Plan(f"p{n}", rate, draw.choice([1.0, 2.0]) * max(rate, 1.0), draw.choice([0, 3]),
-                              ceiling_rate=ceiling, ceiling_burst=2.5 * ceiling, over_cost=draw.random()))
+        plans.append(
+            api.Plan(
+                f"p{n}",
+                rate,
+                draw.choice([1.0, 2.0]) * max(rate, 1.0),
+                draw.choice([0, 3]),
+                ceiling_rate=ceiling,
+                ceiling_burst=2.5 * ceiling,
+                over_cost=draw.random(),
+            )
+        )
     return api.Settings(
-        me=draw.randrange(3), gateways=draw.choice([1, 3, 200]), zone="a", tick_ms=2.0, classes=tuple(classes),
-        plans=tuple(plans), has_counter=draw.random() < 0.8, counter_timeout_ms=draw.choice([5.0, 50.0]),
-        max_units=4.0, max_attempts=draw.randrange(2, 6), can_cancel=draw.random() < 0.8, answer_slack_ms=8.0,
-        cold_from=draw.choice([0.0, 0.2, 1.0]), warm_within_ms=draw.choice([0.0, 9000.0]),
-        fall_multiple=draw.choice([0.0, 1.0, 3.0]), fall_window_ms=draw.choice([0.0, 1500.0]))
+        me=draw.randrange(3),
+        gateways=draw.choice([1, 3, 200]),
+        zone="a",
+        tick_ms=2.0,
+        classes=tuple(classes),
+        plans=tuple(plans),
+        has_counter=draw.random() < 0.8,
+        counter_timeout_ms=draw.choice([5.0, 50.0]),
+        max_units=4.0,
+        max_attempts=draw.randrange(2, 6),
+        can_cancel=draw.random() < 0.8,
+        answer_slack_ms=8.0,
+        cold_from=draw.choice([0.0, 0.2, 1.0]),
+        warm_within_ms=draw.choice([0.0, 9000.0]),
+        fall_multiple=draw.choice([0.0, 1.0, 3.0]),
+        fall_window_ms=draw.choice([0.0, 1500.0]),
+    )
 
 
 @dataclass
@@ -106,8 +135,17 @@
         self.seen[rid] = Tried(cls, self.settings.max_attempts, self.now + left)
         if draw.random() < 0.1:
             self.later(self.now + left * draw.random(), api.Left(rid))
-        self.give(api.Request(rid, cls.name, draw.choice(self.settings.plans).name, draw.randrange(6), left,
-                              draw.choice([1.0, 4.0]), draw.choice([1, 3, 200])))
+        self.give(
+            api.Request(
+                rid,
+                cls.name,
+                draw.choice(self.settings.plans).name,
+                draw.randrange(6),
+                left,
+                draw.choice([1.0, 4.0]),
+                draw.choice([1, 3, 200]),
+            )
+        )
 
     def give(self, event: api.Event) -> None:
         """One event, and what the gateway does about it."""
@@ -133,15 +171,25 @@
                 self.repeats += bool(tried.attempts)
                 tried.attempts.append((server, self.now, None))
                 verdict = draw.choice([api.Verdict.OK, api.Verdict.TIMEOUT, *BAD])
-                took = left if verdict is api.Verdict.TIMEOUT else left * draw.choice([0.0, 0.01, 0.1, draw.random()])
+                took = (
+                    left
+                    if verdict is api.Verdict.TIMEOUT
+                    else left * draw.choice([0.0, 0.01, 0.1, draw.random()])
+                )
                 done = verdict is api.Verdict.OK
-                self.later(self.now + took, api.Outcome(
-                    rid, len(tried.attempts) - 1, to, verdict, took, done, draw.choice([0.0, 1.0, 9.0])))
+                self.later(
+                    self.now + took,
+                    api.Outcome(
+                        rid, len(tried.attempts) - 1, to, verdict, took, done, draw.choice([0.0, 1.0, 9.0])
+                    ),
+                )
             case api.Cancel(id=rid, attempt=attempt):
                 where, since, how = self.seen[rid].attempts[attempt]
                 assert how is None
-                self.later(self.now, api.Outcome(
-                    rid, attempt, where.id, api.Verdict.CANCELLED, self.now - since, False))
+                self.later(
+                    self.now,
+                    api.Outcome(rid, attempt, where.id, api.Verdict.CANCELLED, self.now - since, False),
+                )
             case api.Refuse(id=rid) | api.Fail(id=rid):
                 tried = self.seen[rid]
                 assert not tried.over and self.now <= tried.until + 1e-6
@@ -149,7 +197,8 @@
                 if isinstance(action, api.Refuse) and tried.risks():
                     self.refused_late += 1
                     assert tried.cls.effect is api.Effect.SAFE or (
-                        tried.cls.effect is api.Effect.KEYED and tried.cls.group is api.Group.ALL)
+                        tried.cls.effect is api.Effect.KEYED and tried.cls.group is api.Group.ALL
+                    )
                 tried.over = True
             case api.Wake(at_ms=at, token=token):
                 self.later(max(at, self.now), api.Due(token))
@@ -195,7 +244,9 @@
     made, totals = gateway(plans=(plan,)), dict[int, float]()
     admit(made, START, request("r0"), totals)
     made._quota._chance = 0.3  # the counter is crowded: what has room goes unheard, and is told later
-    [flush] = [one for one in only(made.handle(START + 1, request("r1")), api.Wake) if one.at_ms > START + 3000]
+    [flush] = [
+        one for one in only(made.handle(START + 1, request("r1")), api.Wake) if one.at_ms > START + 3000
+    ]
     made.retune(replace(made._settings, plans=(free,)))
     admit(made, START + 2, request("r2"), totals)
     answer(made, flush.at_ms, only(made.handle(flush.at_ms, api.Due(flush.token)), api.Count), totals)
@@ -211,6 +262,7 @@
 
 def test_a_fleet_that_grows_saves_up_no_more_retries() -> None:
     """200 gateways that were 3 at their start kept what 3 may save: 2,867 retries in place of 240."""
+
     def retries(gateways: int, then: int) -> int:
         made = gateway(gateways=gateways, plans=(api.Plan("plain"),), classes=(SAFE,))
         made.retune(replace(made._settings, gateways=then))
@@ -222,7 +274,9 @@
             now = START + 3000 + 50 * n
             attempt, sends = 0, only(made.handle(now, request(f"x{n}")), api.Send)
             while sends:
-                sends = only(made.handle(now, outcome(sends[0], api.Verdict.CONNECT_FAILED, attempt)), api.Send)
+                sends = only(
+                    made.handle(now, outcome(sends[0], api.Verdict.CONNECT_FAILED, attempt)), api.Send
+                )
                 attempt += 1
             got += max(attempt - 1, 0)
         return got
@@ -250,7 +304,10 @@
 @pytest.mark.parametrize("aim", [200.0, 3000.0])
 def test_who_meets_the_limit_of_attempts_out_is_told_to_wait_by_the_aim(aim: float) -> None:
     """It was 100 ms at every customer's."""
-    made = gateway(plans=(api.Plan("plain", 100.0, 100.0, open_limit=1),), has_counter=False,
-                   classes=(replace(SAFE, aim_ms=aim),))
+    made = gateway(
+        plans=(api.Plan("plain", 100.0, 100.0, open_limit=1),),
+        has_counter=False,
+        classes=(replace(SAFE, aim_ms=aim),),
+    )
     assert len(only(made.handle(START, request("r0")), api.Send)) == 1
     assert made.handle(START + 1, request("r1")) == [api.Refuse("r1", 0.1 * aim)]
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -32,7 +32,7 @@
     data = b"*3\r\n$%d\r\n" % size + sent + TAIL
     values: list[Any] = []
     for at in range(0, len(data), step):
-        values += parser.feed(data[at:at + step])
+        values += parser.feed(data[at : at + step])
         got += parser.pieces
         parser.pieces = []
         assert parser.held <= step + 128  # no more is kept than has just come
@@ -42,12 +42,15 @@
     assert parser.idle and parser.feed(b"*1\r\n$1\r\nv\r\n") == [[b"v"]]
 
 
-@pytest.mark.parametrize(("data", "fault"), [
-    (b"*3\r\n$%d\r\n" % (MAX_LONG + 1), "length out of bounds"),
-    (b"*3\r\n$1\r\nv\r\n$70000\r\n", "length out of bounds"),  # not the first of the array
-    (b"$70000\r\n", "length out of bounds"),  # in no array
-    (b"*1\r\n$70000\r\n" + b"x" * 70000 + b"yy", "bulk string without its line end"),
-])
+@pytest.mark.parametrize(
+    ("data", "fault"),
+    [
+        (b"*3\r\n$%d\r\n" % (MAX_LONG + 1), "length out of bounds"),
+        (b"*3\r\n$1\r\nv\r\n$70000\r\n", "length out of bounds"),  # not the first of the array
+        (b"$70000\r\n", "length out of bounds"),  # in no array
+        (b"*1\r\n$70000\r\n" + b"x" * 70000 + b"yy", "bulk string without its line end"),
+    ],
+)
 def test_what_is_no_long_value_is_a_fault(data: bytes, fault: str) -> None:
     parser = Parser(max_items=8, max_long=MAX_LONG)
     parser.feed(data)
@@ -89,7 +92,8 @@
         script = [b"*3\r\n$%d\r\n" % MAX_LONG + big + TAIL, b"*1\r\n$5\r\nsmall\r\n"]
         async with one_gateway(script=script) as (app, node, _):
             assert await ask(app, query("r1"), query("r2")) == [big, b"small"] or {
-                command[2] for command in node.commands} == {b"r1", b"r2"}
+                command[2] for command in node.commands
+            } == {b"r1", b"r2"}
             assert await ask(app, query("r3")) == [b"value"]
             assert app.core.figures.ended["balance-check"] == [3, 0, 0]
             assert app._room.open == 0 and app.core.unanswered == 0
@@ -145,7 +149,8 @@
 
 @pytest.mark.parametrize("how", ["reset", "stall", "spoilt"])
 def test_a_value_that_breaks_midway_ends_so_that_the_client_can_tell(
-        how: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    how: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
     monkeypatch.setattr(server_link_module, "STALLED_MS", 100.0 if how == "stall" else 60_000.0)
 
     async def test() -> None:
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -35,9 +35,13 @@
 from tests.test_wire import PARAMS
 
 RAW: dict[str, Any] = {
-    "name": "n", "listen": f"{HOST}:6379", "discovery": f"{HOST}:1", "counter": f"{HOST}:1",
+    "name": "n",
+    "listen": f"{HOST}:6379",
+    "discovery": f"{HOST}:1",
+    "counter": f"{HOST}:1",
     "limits": {"cores": 1.0},
-    "settings": PARAMS}
+    "settings": PARAMS,
+}
 
 
 def at(raw: dict[str, Any], path: str, value: object = None) -> dict[str, Any]:
@@ -56,8 +60,9 @@
 
 @pytest.mark.parametrize("path", ["settings.classes.0.deadline_ms", "settings.policy_limits.try_limit"])
 @pytest.mark.parametrize("value", [0, -5.0, True, "480", [1], "NaN", 1e400])
-def test_a_deadline_or_number_of_attempts_is_a_number_above_0(path: str, value: object,
-                                                               tmp_path: Path) -> None:
+def test_a_deadline_or_number_of_attempts_is_a_number_above_0(
+    path: str, value: object, tmp_path: Path
+) -> None:
     file = tmp_path / "config.json"
     file.write_text(json.dumps(at(RAW, path, value)).replace('"NaN"', "NaN"))
     with pytest.raises(ConfigError, match=path.rsplit(".", 1)[1] + "|not JSON"):
@@ -72,9 +77,19 @@
         read_config({"LB_CONFIG": str(file)}, tmp_path, again=True)
 
 
-@pytest.mark.parametrize("path", [
-    "counter", "discovery", "limits.cores", "settings.rules", "settings.rules.fall_multiple",
-    "settings.policy_limits.try_limit", "settings.classes.0.idempotency", "settings.contracts"])
+@pytest.mark.parametrize(
+    "path",
+    [
+        "counter",
+        "discovery",
+        "limits.cores",
+        "settings.rules",
+        "settings.rules.fall_multiple",
+        "settings.policy_limits.try_limit",
+        "settings.classes.0.idempotency",
+        "settings.contracts",
+    ],
+)
 def test_a_file_that_lacks_a_key_is_turned_down_by_its_name(path: str) -> None:
     missing = lacking(shape(RAW), shape(at(RAW, path)))
     assert missing == ".".join(part for part in path.split(".") if not part.isdigit())
@@ -97,8 +112,10 @@
 
 def test_classes_come_go_and_change_effect_while_open_queries_keep_theirs() -> None:
     """`load-send` becomes safe to repeat, `balance-check` goes, `fresh` comes, one attempt is left."""
-    classes = (replace(KEYED, effect=api.Effect.SAFE, deadline_ms=70_000.0),
-               api.RequestClass("fresh", 30_000.0, 60_000.0, api.Effect.SAFE))
+    classes = (
+        replace(KEYED, effect=api.Effect.SAFE, deadline_ms=70_000.0),
+        api.RequestClass("fresh", 30_000.0, 60_000.0, api.Effect.SAFE),
+    )
 
     def new(made: Config) -> Config:
         return replace(made, settings=made_settings(classes=classes, has_counter=False, max_attempts=1))
@@ -167,14 +184,18 @@
     play(lambda: reloading(new, test, Backend()))
 
 
-@pytest.mark.parametrize(("rate", "burst", "room"), [
-    (1.0, 4.0, 1.0),  # as it was
-    (1.0, 40.0, 1.0),  # a rise gives no free burst
-    (1.0, 2.0, -1.0),  # a cut leaves debt, ...
-    (0.1, 1.0, -0.5),  # ... which is paid within five seconds
-])
-def test_a_plan_changes_without_a_free_burst_and_without_forgetting(rate: float, burst: float,
-                                                                   room: float) -> None:
+@pytest.mark.parametrize(
+    ("rate", "burst", "room"),
+    [
+        (1.0, 4.0, 1.0),  # as it was
+        (1.0, 40.0, 1.0),  # a rise gives no free burst
+        (1.0, 2.0, -1.0),  # a cut leaves debt, ...
+        (0.1, 1.0, -0.5),  # ... which is paid within five seconds
+    ],
+)
+def test_a_plan_changes_without_a_free_burst_and_without_forgetting(
+    rate: float, burst: float, room: float
+) -> None:
     made = helpers.gateway(has_counter=False)
     now = helpers.START
     asked = helpers.request("a", units=3.0, spread=1)
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -1,4 +1,5 @@
-"""When an attempt may be sent again: its connection ends, its window does, or its answer comes, at the worst moment.
+"""When an attempt may be sent again: its connection ends, its window does, or its answer comes, at the worst
+moment.
 
 The servers are plain sockets, read and written by the test itself, so that each order happens every time.
 """
@@ -46,8 +47,15 @@
         self.now = NOW_MS
         self.ends: list[tuple[str, Verdict, bytes]] = []
         self.loop = Turns(asyncio.get_running_loop())
-        self.link = RespServerLink((HOST, self.listener.getsockname()[1]), self.loop, lambda: self.now, report_names=(),
-                                   connect_ms=5000.0, idle_ms=60_000.0, most=8)
+        self.link = RespServerLink(
+            (HOST, self.listener.getsockname()[1]),
+            self.loop,
+            lambda: self.now,
+            report_names=(),
+            connect_ms=5000.0,
+            idle_ms=60_000.0,
+            most=8,
+        )
         self.taken: list[socket.socket] = []
 
     def start(self, rid: str, body: bytes | None = None, write_by_ms: float = float("inf")) -> Execution:
@@ -111,6 +119,7 @@
 @pytest.fixture
 def small(monkeypatch: pytest.MonkeyPatch) -> None:
     """Little room in the sockets: a long request sticks half way."""
+
     def make(address: tuple[str, int]) -> socket.socket:
         made = new_socket(address)
         made.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2048)
@@ -144,9 +153,11 @@
 # The write of the last byte ---------------------------------------------------------------------------
 
 
-def test_a_reset_before_the_first_byte_is_written_proves_that_it_never_ran(monkeypatch: pytest.MonkeyPatch) -> None:
-    """It came between the look at the connection and the write, which failed, and counted as written whole: an
-    unsafe request failed that could have been sent elsewhere."""
+def test_a_reset_before_the_first_byte_is_written_proves_that_it_never_ran(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It came between the look at the connection and the write, which failed, and counted as written
+    whole: an unsafe request failed that could have been sent elsewhere."""
 
     async def test() -> None:
         async with node() as at:
@@ -184,8 +195,8 @@
 @pytest.mark.usefixtures("small")
 @pytest.mark.parametrize("answer", [b"-BUSY too many connections\r\n", b"-ERR failed\r\n", GOOD])
 def test_what_is_answered_before_it_is_out_whole_never_comes_whole(answer: bytes) -> None:
-    """A server that turned it away early got the rest all the same, since its connection was used on: the request
-    ran there while another attempt was out."""
+    """A server that turned it away early got the rest all the same, since its connection was used on: the
+    request ran there while another attempt was out."""
 
     async def test() -> None:
         async with node() as at:
@@ -244,7 +255,9 @@
             real, up = at.link.opened, asyncio.Event()
 
             def opened(connection: Any) -> None:
-                asyncio.ensure_future(up.wait()).add_done_callback(lambda _: at.link.deliver(real, connection))
+                asyncio.ensure_future(up.wait()).add_done_callback(
+                    lambda _: at.link.deliver(real, connection)
+                )
 
             at.link.opened = opened  # type: ignore[method-assign]
             one = at.start("r1")
@@ -269,8 +282,8 @@
 
 
 def test_a_connection_is_not_used_when_its_server_may_be_closing_it() -> None:
-    """Only the sweep looked at how long it had been idle, once a second: with a short idle time, or a late event loop,
-    a request was written into the close, and ended as a reset that may have run."""
+    """Only the sweep looked at how long it had been idle, once a second: with a short idle time, or a late
+    event loop, a request was written into the close, and ended as a reset that may have run."""
 
     async def test() -> None:
         async with node() as at:
@@ -284,13 +297,19 @@
 
 
 def test_nothing_is_opened_for_a_client_that_has_left() -> None:
-    """It left between the decision and the link's turn: a connection was dialled for nobody, or one at rest counted
-    as just used, and was kept beyond the time after which servers close it."""
+    """It left between the decision and the link's turn: a connection was dialled for nobody, or one at
+    rest counted as just used, and was kept beyond the time after which servers close it."""
 
     async def test() -> None:
         async with node() as at:
-            one = Execution(Query("r1", "once", "plain", 7, 60_000.0, 1.0, 2, safe=False), 0, 1, at.now,
-                            at.now + 60_000.0, at._ended)
+            one = Execution(
+                Query("r1", "once", "plain", 7, 60_000.0, 1.0, 2, safe=False),
+                0,
+                1,
+                at.now,
+                at.now + 60_000.0,
+                at._ended,
+            )
             at.link.start(one)
             one.abandon(Verdict.CANCELLED, final=True)
             at.loop.run()
@@ -362,8 +381,8 @@
 
 @pytest.mark.parametrize("greeting", [b"", b"-BUSY too many connections\r\n"])
 def test_a_server_that_ends_each_connection_at_once_gets_no_burst_of_them(greeting: bytes) -> None:
-    """Its end had come before the connection was looked at: another was dialled at once, and so on, for as long as an
-    attempt may wait for one."""
+    """Its end had come before the connection was looked at: another was dialled at once, and so on, for as
+    long as an attempt may wait for one."""
 
     async def test() -> None:
         async with node() as at:
@@ -474,14 +493,21 @@
 
 
 @contextlib.asynccontextmanager
-async def core(monkeypatch: pytest.MonkeyPatch, decide: Callable[[api.Event], list[api.Action]]
-               ) -> AsyncIterator[tuple[Core, Node, Node, list[Answer]]]:
+async def core(
+    monkeypatch: pytest.MonkeyPatch, decide: Callable[[api.Event], list[api.Action]]
+) -> AsyncIterator[tuple[Core, Node, Node, list[Answer]]]:
     """A core before two servers, whose module is the test's."""
     monkeypatch.setattr(Gateway, "handle", lambda self, now, event: decide(event))
     async with node() as first, node() as second:
         second.loop = second.link._loop = first.loop
-        made = Core(settings(has_counter=False, classes=(KEYED, UNSAFE)), 1, first.loop, lambda: NOW_MS,
-                    lambda number: {1: first, 2: second}[number].link, NoCounter())
+        made = Core(
+            settings(has_counter=False, classes=(KEYED, UNSAFE)),
+            1,
+            first.loop,
+            lambda: NOW_MS,
+            lambda number: {1: first, 2: second}[number].link,
+            NoCounter(),
+        )
         answers: list[Answer] = []
         made.submit(Query("r1", "load-send", "free", 5, 2000.0, 1.0, 1, key="k"), answers.append)
         first.loop.run()
@@ -489,8 +515,8 @@
 
 
 def test_the_attempt_given_up_has_ended_before_the_next_is_written(monkeypatch: pytest.MonkeyPatch) -> None:
-    """A time-out of its own ended an attempt outside the core's turn: where the next server's link had mail already,
-    the next attempt was written before the first one's connection was closed."""
+    """A time-out of its own ended an attempt outside the core's turn: where the next server's link had
+    mail already, the next attempt was written before the first one's connection was closed."""
     sends = {1: api.Send("1", 1, 500.0), 2: api.Send("1", 2, 500.0)}
 
     def decide(event: api.Event) -> list[api.Action]:
@@ -526,7 +552,9 @@
 
 @pytest.mark.parametrize("many", [2, 20])
 def test_a_server_that_refuses_is_not_dialled_again_and_all_that_wait_are_told(many: int) -> None:
-    """Each connection that was refused while another was on its way was dialled anew: 1,200 dials in 250 ms."""
+    """Each connection that was refused while another was on its way was dialled anew: 1,200 dials in 250
+    ms."""
+
     async def test() -> None:
         async with node() as made:
             made.listener.close()
@@ -549,7 +577,9 @@
 
 
 def test_the_next_connection_is_opened_as_one_comes_up() -> None:
-    """Only eight may be on their way at once; behind these none was, and the ninth attempt waited for a first answer."""
+    """Only eight may be on their way at once; behind these none was, and the ninth attempt waited for a
+    first answer."""
+
     async def test() -> None:
         async with node() as made:
             made.link._most = 20
--- a/tests/test_reserved.py
+++ b/tests/test_reserved.py
@@ -62,7 +62,10 @@
     if slow:
         made._fleet._latency = 1.0
     sent = 0
-    while only(made.handle(START + 5.0, drawn(f"f{sent}", spread=1, customer=50 + sent)), api.Send) and sent < 1000:
+    while (
+        only(made.handle(START + 5.0, drawn(f"f{sent}", spread=1, customer=50 + sent)), api.Send)
+        and sent < 1000
+    ):
         sent += 1
     return sent
 
@@ -106,15 +109,16 @@
 SECONDS = 15
 
 
-def three(first: float, others: float, counted: bool = True, watched: bool = False,
-          even: bool = True) -> tuple[float, dict[bool, int], dict[bool, int]]:
-    """Three gateways and one customer under a ceiling, with so many reserved requests and others a second: the lowest
-    level of the ceiling's store, and what was asked and sent of each."""
+def three(
+    first: float, others: float, counted: bool = True, watched: bool = False, even: bool = True
+) -> tuple[float, dict[bool, int], dict[bool, int]]:
+    """Three gateways and one customer under a ceiling, with so many reserved requests and others a second:
+    the lowest level of the ceiling's store, and what was asked and sent of each."""
     plan, rng, step = helpers.CAPPED, random.Random(5), 10.0
     made: list[Guarded | reserved.Gateway] = []
     for me in range(3):
         settings = replace(helpers.SETTINGS, me=me, gateways=3)
-        one = (Guarded(settings, me, reserved.Gateway) if watched else reserved.Gateway(settings, me))
+        one = Guarded(settings, me, reserved.Gateway) if watched else reserved.Gateway(settings, me)
         one.handle(START, api.Members(api.Scope.WARM_COPY, tuple(helpers.server(n) for n in range(1, 9))))
         made.append(one)
     totals: dict[int, float] = {}
@@ -123,7 +127,9 @@
     for tick in range(SECONDS * 100):
         now = START + tick * step
         level = min(level + plan.ceiling_rate * step / 1000.0, plan.ceiling_burst)
-        todo: list[tuple[Guarded | reserved.Gateway, api.Event]] = [(one, due) for at, one, due in wakes if at <= now]
+        todo: list[tuple[Guarded | reserved.Gateway, api.Event]] = [
+            (one, due) for at, one, due in wakes if at <= now
+        ]
         wakes = [wake for wake in wakes if wake[0] > now]
         for kind, rate in ((True, first), (False, others)):
             for index in range(3):
@@ -194,7 +200,9 @@
                     waiting.append((later, number, helpers.outcome(action, verdict, rtt=later - now)))
                 elif isinstance(action, api.Count):
                     totals[action.name] = totals.get(action.name, 0.0) + action.units
-                    waiting.append((now + 2.0, number, api.Total(action.name, api.Verdict.OK, 2.0, totals[action.name])))
+                    waiting.append(
+                        (now + 2.0, number, api.Total(action.name, api.Verdict.OK, 2.0, totals[action.name]))
+                    )
                 elif isinstance(action, api.Wake):
                     waiting.append((action.at_ms, number, api.Due(action.token)))
     return out
@@ -203,11 +211,16 @@
 def test_where_nothing_is_reserved_every_action_is_as_without() -> None:
     plain, other = play(decide.Gateway(helpers.SETTINGS, 9)), play(reserved.Gateway(helpers.SETTINGS, 9))
     assert plain == other and {type(action) for one in plain for action in one} >= {
-        api.Send, api.Refuse, api.Count, api.Wake}
+        api.Send,
+        api.Refuse,
+        api.Count,
+        api.Wake,
+    }
 
 
 class StandIn:
-    """Stakes of one customer, 5: as many units as `room` says, and who waits gets his turn when `due` says so."""
+    """Stakes of one customer, 5: as many units as `room` says, and who waits gets his turn when `due` says
+    so."""
 
     def __init__(self, room: float = 0.0) -> None:
         self.room, self.due, self.waiting = room, False, list[tuple[Any, float]]()
@@ -244,7 +257,9 @@
         super().__init__()
         plan = api.Plan("free", rate=0.001, burst=1.0)
         made = replace(helpers.SETTINGS, has_counter=False, gateways=1, classes=(AIM,), plans=(plan,))
-        self.core = Core(made, 1, Turns(self.loop), self.loop.clock, lambda _: self.link, NoCounter(), reserves=True)
+        self.core = Core(
+            made, 1, Turns(self.loop), self.loop.clock, lambda _: self.link, NoCounter(), reserves=True
+        )
         self.core.members(api.Members(api.Scope.FULL, (helpers.server(1),)))
         self.stakes = StandIn(room)
         self.core.guarantee(self.stakes, lambda: self.loop.time() * 1000.0)
@@ -275,7 +290,9 @@
     bench.last.served(b"ordinary")
     bench.loop.run(3.0)
     assert bench.answers[3] != bench.answers[4] and len(bench.answers) == 5
-    assert Served(b"ordinary") in bench.answers and bench.stakes.short == []  # it is the stakes that count these
+    assert (
+        Served(b"ordinary") in bench.answers and bench.stakes.short == []
+    )  # it is the stakes that count these
 
 
 def test_a_query_waits_only_while_it_leaves_the_time_to_serve_it() -> None:
@@ -326,7 +343,9 @@
         made.on_floor = lambda floor, now: told.extend((floor, now))
         made.start()
         await until(lambda: bool(told))
-        assert isinstance(made.node, Node) and told == [made.floor, made.now] and made.floor in made.node.holders
+        assert (
+            isinstance(made.node, Node) and told == [made.floor, made.now] and made.floor in made.node.holders
+        )
         made.close()
 
     asyncio.run(asyncio.wait_for(test(), 20))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -76,9 +76,15 @@
     assert late == [api.Fail("r0")]
 
 
-@pytest.mark.parametrize(("cls", "given_up"), [("read", True), ("write", True), ("pay", False), ("short", False)])
-def test_a_silent_attempt_is_called_off_only_where_its_class_may_be_sent_again(cls: str, given_up: bool) -> None:
-    short = replace(SETTINGS.classes[1], name="short", window_ms=50.0)  # it is over before silence can be told
+@pytest.mark.parametrize(
+    ("cls", "given_up"), [("read", True), ("write", True), ("pay", False), ("short", False)]
+)
+def test_a_silent_attempt_is_called_off_only_where_its_class_may_be_sent_again(
+    cls: str, given_up: bool
+) -> None:
+    short = replace(
+        SETTINGS.classes[1], name="short", window_ms=50.0
+    )  # it is over before silence can be told
     made = gateway(has_counter=False, classes=(*SETTINGS.classes, short))
     actions = made.handle(START, request("a", cls))
     [wake] = only(actions, api.Wake)
@@ -148,8 +154,9 @@
             elif wakes:
                 for action in made.handle(now + 1000, api.Due(wakes[0].token)):
                     assert isinstance(action, api.Cancel)
-                    for more in only(made.handle(now + 1000, outcome(
-                            send, api.Verdict.CANCELLED, rtt=1000.0)), api.Send):
+                    for more in only(
+                        made.handle(now + 1000, outcome(send, api.Verdict.CANCELLED, rtt=1000.0)), api.Send
+                    ):
                         made.handle(now + 1000, outcome(more, api.Verdict.OK, 1, rtt=40.0))
     assert lost[1] <= 12 and lost[2] >= 380
 
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -54,11 +54,20 @@
 
 def test_a_reload_moves_discovery_and_counter_and_costs_no_query_nor_charge() -> None:
     async def test() -> None:
-        async with (Backend(script=[None]) as node, Backend() as other, Counter() as old, Counter() as new,
-                    Discovery(entry("a", node.port)) as list_, Discovery(entry("b", other.port)) as moved):
+        async with (
+            Backend(script=[None]) as node,
+            Backend() as other,
+            Counter() as old,
+            Counter() as new,
+            Discovery(entry("a", node.port)) as list_,
+            Discovery(entry("b", other.port)) as moved,
+        ):
             made = config(list_.port, old.port, roster(entry("a", node.port)))
-            app = App(made, lambda: NOW_MS, lambda: replace(
-                made, discovery=(HOST, moved.port), counter=(HOST, new.port)))
+            app = App(
+                made,
+                lambda: NOW_MS,
+                lambda: replace(made, discovery=(HOST, moved.port), counter=(HOST, new.port)),
+            )
             app.start()
             await until(lambda: app._hosts.ready)
             reader, writer = await connect(app.address)
@@ -108,14 +117,21 @@
         free.bind((HOST, 0))
         port = free.getsockname()[1]
         free.close()
-        raw = {"name": "n1", "listen": f"{HOST}:{port}", "discovery": f"{HOST}:1", "seed": "1f",
-               "counter": f"{HOST}:1", "settings": PARAMS,
-               "known": {"version": 1, "full": True, "servers": [entry("a", 1)]}}
+        raw = {
+            "name": "n1",
+            "listen": f"{HOST}:{port}",
+            "discovery": f"{HOST}:1",
+            "seed": "1f",
+            "counter": f"{HOST}:1",
+            "settings": PARAMS,
+            "known": {"version": 1, "full": True, "servers": [entry("a", 1)]},
+        }
         path.write_text(json.dumps(raw))
         root = Path(__file__).resolve().parent.parent
         told = {**os.environ, "LB_CONFIG": str(path), "LB_DISCOVERY": f"{HOST}:1"}
-        with subprocess.Popen([sys.executable, "-m", "badgeryoke"], cwd=root, stderr=subprocess.PIPE,
-                              env=told, text=True) as process:
+        with subprocess.Popen(
+            [sys.executable, "-m", "badgeryoke"], cwd=root, stderr=subprocess.PIPE, env=told, text=True
+        ) as process:
             assert process.stderr is not None
 
             def heard(words: str) -> None:
@@ -139,10 +155,20 @@
 # The counter ------------------------------------------------------------------------------------------
 
 
-@pytest.mark.parametrize("spoilt", [
-    b"$3\r\nabc\r\n", b"*1\r\n$1\r\n4\r\n", b":4\r\n", b"-what\r\n", b"+OK\r\n", b"noise without an end",
-    b"$9\r\n4\r\n", b"$3\r\n1_0\r\n", b"$3000000000\r\n4",
-])
+@pytest.mark.parametrize(
+    "spoilt",
+    [
+        b"$3\r\nabc\r\n",
+        b"*1\r\n$1\r\n4\r\n",
+        b":4\r\n",
+        b"-what\r\n",
+        b"+OK\r\n",
+        b"noise without an end",
+        b"$9\r\n4\r\n",
+        b"$3\r\n1_0\r\n",
+        b"$3000000000\r\n4",
+    ],
+)
 def test_a_spoilt_total_was_added_and_ends_its_connection(spoilt: bytes) -> None:
     """After an answer that was no total the connection was used on, and later calls got the wrong answers."""
 
@@ -212,7 +238,8 @@
 
 
 def test_idle_connections_give_way_before_clients_reach_a_bound_of_their_own(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     """Clients hold a third of the descriptors at most: a crowd that stayed kept all others from coming."""
     monkeypatch.setattr(gateway_module, "CROWD_PART", 4 / 1024)
     monkeypatch.setattr(front_module, "CROWD_S", 0.0)
@@ -232,7 +259,8 @@
 
 @pytest.mark.parametrize("sent", [b"", b"*4\r\n$9\r\nSVC.QUERY\r\n", b"*1\r\n$60000\r\nxx"])
 def test_a_client_that_says_nothing_or_half_a_command_is_closed(
-        sent: bytes, monkeypatch: pytest.MonkeyPatch) -> None:
+    sent: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
     monkeypatch.setattr(front_module, "COMMAND_S", 0.3)
 
     async def test() -> None:
@@ -245,7 +273,8 @@
 
 
 def test_half_a_command_behind_an_open_one_costs_the_open_one_nothing(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     monkeypatch.setattr(front_module, "COMMAND_S", 0.3)
 
     async def test() -> None:
@@ -293,17 +322,26 @@
 
 
 MALFORMED = {
-    "units that are no number": ("units=1", "units=nan"), "units with an exponent": ("units=1", "units=1e0"),
-    "negative units": ("units=1", "units=-1"), "no units": ("units=1", "units=0"),
-    "more units than counted": ("units=1", "units=7"), "an endless set": ("spread=2", "spread=inf"),
-    "a set of none": ("spread=2", "spread=0"), "a set of more than there are": ("spread=2", "spread=3"),
-    "a set with an underscore": ("spread=2", "spread=0_2"), "a set from nowhere": ("first=0", "first=2"),
-    "a deadline that is no number": ("d=60000", "d=soon"), "a deadline of nan": ("d=60000", "d=nan"),
-    "a deadline past the class's": ("d=60000", "d=70000"), "no time": ("d=60000", "d=0"),
-    "a name twice": ("units=1", "units=1,units=1"), "a name left out": ("units=1,", ""),
+    "units that are no number": ("units=1", "units=nan"),
+    "units with an exponent": ("units=1", "units=1e0"),
+    "negative units": ("units=1", "units=-1"),
+    "no units": ("units=1", "units=0"),
+    "more units than counted": ("units=1", "units=7"),
+    "an endless set": ("spread=2", "spread=inf"),
+    "a set of none": ("spread=2", "spread=0"),
+    "a set of more than there are": ("spread=2", "spread=3"),
+    "a set with an underscore": ("spread=2", "spread=0_2"),
+    "a set from nowhere": ("first=0", "first=2"),
+    "a deadline that is no number": ("d=60000", "d=soon"),
+    "a deadline of nan": ("d=60000", "d=nan"),
+    "a deadline past the class's": ("d=60000", "d=70000"),
+    "no time": ("d=60000", "d=0"),
+    "a name twice": ("units=1", "units=1,units=1"),
+    "a name left out": ("units=1,", ""),
     "a retry mark of another form": ("units=1", "units=1,r=2"),
     "a key with blanks": ("units=1", "units=1,k=a b"),
-    "another class's command": ("SVC.QUERY", "SVC.SUBMIT"), "no id": ("\r\nr1\r\n", "\r\n\r\n"),
+    "another class's command": ("SVC.QUERY", "SVC.SUBMIT"),
+    "no id": ("\r\nr1\r\n", "\r\n\r\n"),
     "an id with a line end": ("\r\nr1\r\n", "\r\nr\r\n\r\n"),
 }
 
@@ -438,11 +476,22 @@
     play(test)
 
 
-@pytest.mark.parametrize("answer", [
-    b":5\r\n", b"$4\r\ngood\r\n", b"*0\r\n", b"-SYNTAX\r\n", b"+OK\r\n", b"*1\r\n:5\r\n",
-    b"noise without an end", b"*1\r\n$3000000000\r\nvvvv", b"*1\r\n$-7\r\n", 
-    b"*1\r\n$2\r\ngood\r\n", b"*1\r\n$40\r\ngood\r\n",
-])
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b":5\r\n",
+        b"$4\r\ngood\r\n",
+        b"*0\r\n",
+        b"-SYNTAX\r\n",
+        b"+OK\r\n",
+        b"*1\r\n:5\r\n",
+        b"noise without an end",
+        b"*1\r\n$3000000000\r\nvvvv",
+        b"*1\r\n$-7\r\n",
+        b"*1\r\n$2\r\ngood\r\n",
+        b"*1\r\n$40\r\ngood\r\n",
+    ],
+)
 def test_a_spoilt_answer_may_have_run_and_ends_its_connection(answer: bytes) -> None:
     """A connection was used on after an answer that was no array, and after an unknown error."""
 
@@ -454,12 +503,20 @@
     play(test)
 
 
-@pytest.mark.parametrize(("use", "load", "units", "report"), [
-    (b"used=1,cost=3", b"latency_ms=9,inflight=1", 3.0, (9.0, 1.0)),
-    (b"cost=x", b"latency_ms=9,inflight=1", 0.0, (9.0, 1.0)), (b"cost=nan", None, 0.0, ()),
-    (b"cost=-3", None, 0.0, ()), (b"cost=1e300", None, 0.0, ()), (b"cost=3", b"latency_ms=inf", 3.0, ()),
-    (b"cost=3", b"???", 3.0, ()), (b"cost=7", None, 0.0, ()), (7, b"latency_ms=9,inflight=-1", 0.0, ()),
-])
+@pytest.mark.parametrize(
+    ("use", "load", "units", "report"),
+    [
+        (b"used=1,cost=3", b"latency_ms=9,inflight=1", 3.0, (9.0, 1.0)),
+        (b"cost=x", b"latency_ms=9,inflight=1", 0.0, (9.0, 1.0)),
+        (b"cost=nan", None, 0.0, ()),
+        (b"cost=-3", None, 0.0, ()),
+        (b"cost=1e300", None, 0.0, ()),
+        (b"cost=3", b"latency_ms=inf", 3.0, ()),
+        (b"cost=3", b"???", 3.0, ()),
+        (b"cost=7", None, 0.0, ()),
+        (7, b"latency_ms=9,inflight=-1", 0.0, ()),
+    ],
+)
 def test_a_figure_that_cannot_be_read_is_no_figure(use: Any, load: Any, units: float, report: Any) -> None:
     """One unreadable figure cost the other too; one out of range was booked on the customer."""
     ends: list[End] = []
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,4 +1,5 @@
-"""Settings of any customer: what cannot be gone by names its key, at the start and at SIGHUP; the rest is taken."""
+"""Settings of any customer: what cannot be gone by names its key, at the start and at SIGHUP; the rest is
+taken."""
 
 from __future__ import annotations
 
@@ -30,51 +31,167 @@
 FULL: dict[str, Any] = {
     "charges": {key: 0.01 for key in KEYS["charges"].split()},
     "classes": [
-        {"name": "tile-read", "slo_ms": 2600.0, "deadline_ms": 8000.0, "idempotency": "idempotent", "group": "all",
-         "window_ms": 5000.0, "worth": 1.0, "late_share": 0.3, "stream": False, "aim_stretch": 2.0},
-        {"name": "tile-draw", "slo_ms": 4200.0, "deadline_ms": 12_000.0, "idempotency": "deduplicated",
-         "group": "zone", "window_ms": 5000.0, "worth": 4.0, "late_share": 0.0, "stream": False},
-        {"name": "mark-set", "slo_ms": 900.0, "deadline_ms": 3000.0, "idempotency": "deduplicated", "group": "cell",
-         "window_ms": 600.0, "worth": 2.5, "late_share": 0.0, "stream": False},
-        {"name": "pass-issue", "slo_ms": 1200.0, "deadline_ms": 3500.0, "idempotency": "at_most_once",
-         "group": "all", "window_ms": 0.0, "worth": 5.0, "late_share": 0.1, "stream": False}],
+        {
+            "name": "tile-read",
+            "slo_ms": 2600.0,
+            "deadline_ms": 8000.0,
+            "idempotency": "idempotent",
+            "group": "all",
+            "window_ms": 5000.0,
+            "worth": 1.0,
+            "late_share": 0.3,
+            "stream": False,
+            "aim_stretch": 2.0,
+        },
+        {
+            "name": "tile-draw",
+            "slo_ms": 4200.0,
+            "deadline_ms": 12_000.0,
+            "idempotency": "deduplicated",
+            "group": "zone",
+            "window_ms": 5000.0,
+            "worth": 4.0,
+            "late_share": 0.0,
+            "stream": False,
+        },
+        {
+            "name": "mark-set",
+            "slo_ms": 900.0,
+            "deadline_ms": 3000.0,
+            "idempotency": "deduplicated",
+            "group": "cell",
+            "window_ms": 600.0,
+            "worth": 2.5,
+            "late_share": 0.0,
+            "stream": False,
+        },
+        {
+            "name": "pass-issue",
+            "slo_ms": 1200.0,
+            "deadline_ms": 3500.0,
+            "idempotency": "at_most_once",
+            "group": "all",
+            "window_ms": 0.0,
+            "worth": 5.0,
+            "late_share": 0.1,
+            "stream": False,
+        },
+    ],
     "clients": {"marks_retry": False},
     "contracts": [
-        {"name": "field", "units_per_s": 0.6, "most_at_once": 3.0, "open": 0, "worth_factor": 0.9, "over_worth": 0.1,
-         "beyond_costs": 0.3, "hard_rate": 0.0, "cap_depth": 0.0, "tolerance": 0.0},
-        {"name": "archive", "units_per_s": 4.8, "most_at_once": 19.0, "open": 7, "worth_factor": 1.7,
-         "over_worth": 0.0, "beyond_costs": 1.1, "hard_rate": 9.2, "cap_depth": 36.0, "tolerance": 4.0},
-        {"name": "open-only", "units_per_s": 0.0, "most_at_once": 0.0, "open": 5, "worth_factor": 1.0,
-         "over_worth": 0.0, "beyond_costs": 0.5}],
+        {
+            "name": "field",
+            "units_per_s": 0.6,
+            "most_at_once": 3.0,
+            "open": 0,
+            "worth_factor": 0.9,
+            "over_worth": 0.1,
+            "beyond_costs": 0.3,
+            "hard_rate": 0.0,
+            "cap_depth": 0.0,
+            "tolerance": 0.0,
+        },
+        {
+            "name": "archive",
+            "units_per_s": 4.8,
+            "most_at_once": 19.0,
+            "open": 7,
+            "worth_factor": 1.7,
+            "over_worth": 0.0,
+            "beyond_costs": 1.1,
+            "hard_rate": 9.2,
+            "cap_depth": 36.0,
+            "tolerance": 4.0,
+        },
+        {
+            "name": "open-only",
+            "units_per_s": 0.0,
+            "most_at_once": 0.0,
+            "open": 5,
+            "worth_factor": 1.0,
+            "over_worth": 0.0,
+            "beyond_costs": 0.5,
+        },
+    ],
     "discovery": "subscribe",
-    "family_info": {"counter_price": 0.01, "counter_timeout_ms": 120.0, "has_counter": True, "max_units": 2.5,
-                    "meter_period_ms": 0.0, "peer_intake": 60.0, "trued_up": False},
+    "family_info": {
+        "counter_price": 0.01,
+        "counter_timeout_ms": 120.0,
+        "has_counter": True,
+        "max_units": 2.5,
+        "meter_period_ms": 0.0,
+        "peer_intake": 60.0,
+        "trued_up": False,
+    },
     "feedback": {"fields": ["q", "busy"], "how": "answers"},
     "goal": {"whole": 0.0, "worst_class": 0.0, "worst_tenant": 0.0, "worst_window": 0.0},
-    "instances": 5, "kind_of_service": "gate", "kinds": ["wide-8core", "slim"], "me": 4,
-    "policy_limits": {"cancelling": True, "conn_idle_ms": 45_000.0, "cpu_us_per_request": 0.0, "cpu_us_per_s": 350_000,
-                      "dial_timeout_ms": 400.0, "max_open": 20_000, "max_retry_after_ms": 3000.0, "max_streams": 16,
-                      "parallel_tries": True, "peers": False, "probes": True, "retry_after": True, "try_limit": 5},
-    "rules": {"answer_slack_ms": 32.0, "ask_every_ms": 8000.0, "cold_from": 0.18, "drain_grace_ms": 1500.0,
-              "fall_multiple": 2.2, "overload_for_ms": 2500.0, "warm_within_ms": 16_000.0},
-    "tick_ms": 8.0, "tier": 0, "tiers": ["tile-makers"], "weight_kind": "nominal", "zone": "south",
-    "zones": ["north", "east", "south", "west"]}
+    "instances": 5,
+    "kind_of_service": "gate",
+    "kinds": ["wide-8core", "slim"],
+    "me": 4,
+    "policy_limits": {
+        "cancelling": True,
+        "conn_idle_ms": 45_000.0,
+        "cpu_us_per_request": 0.0,
+        "cpu_us_per_s": 350_000,
+        "dial_timeout_ms": 400.0,
+        "max_open": 20_000,
+        "max_retry_after_ms": 3000.0,
+        "max_streams": 16,
+        "parallel_tries": True,
+        "peers": False,
+        "probes": True,
+        "retry_after": True,
+        "try_limit": 5,
+    },
+    "rules": {
+        "answer_slack_ms": 32.0,
+        "ask_every_ms": 8000.0,
+        "cold_from": 0.18,
+        "drain_grace_ms": 1500.0,
+        "fall_multiple": 2.2,
+        "overload_for_ms": 2500.0,
+        "warm_within_ms": 16_000.0,
+    },
+    "tick_ms": 8.0,
+    "tier": 0,
+    "tiers": ["tile-makers"],
+    "weight_kind": "nominal",
+    "zone": "south",
+    "zones": ["north", "east", "south", "west"],
+}
 # What the program has no use for is not looked at, and so cannot keep a gateway from its work.
-UNUSED = {f"{section}.{key}".lstrip(".") for section, keys in {
-    **{name: KEYS[name] for name in ("charges", "clients", "goal")},
-    "": "charges clients goal kind_of_service kinds tier tiers weight_kind zones",
-    "classes": "aim_stretch stream", "family_info": "counter_price meter_period_ms peer_intake trued_up",
-    "policy_limits": "cpu_us_per_request cpu_us_per_s max_open max_streams parallel_tries peers probes retry_after",
-    "rules": "drain_grace_ms"}.items() for key in keys.split()}
+UNUSED = {
+    f"{section}.{key}".lstrip(".")
+    for section, keys in {
+        **{name: KEYS[name] for name in ("charges", "clients", "goal")},
+        "": "charges clients goal kind_of_service kinds tier tiers weight_kind zones",
+        "classes": "aim_stretch stream",
+        "family_info": "counter_price meter_period_ms peer_intake trued_up",
+        "policy_limits": "cpu_us_per_request cpu_us_per_s max_open max_streams parallel_tries peers probes retry_after",
+        "rules": "drain_grace_ms",
+    }.items()
+    for key in keys.split()
+}
 # Absent, they say that there is no such thing: a ceiling, worth after the aim.
 MAY_LACK = {"classes.late_share", "contracts.hard_rate", "contracts.cap_depth", "contracts.tolerance"}
-USED = sorted({f"{section}.{key}".lstrip(".") for section, keys in KEYS.items() for key in keys.split()} - UNUSED)
-TEXTS = {"classes.name", "contracts.name", "zone", "discovery", "classes.idempotency", "classes.group",
-         "feedback.how"}
+USED = sorted(
+    {f"{section}.{key}".lstrip(".") for section, keys in KEYS.items() for key in keys.split()} - UNUSED
+)
+TEXTS = {
+    "classes.name",
+    "contracts.name",
+    "zone",
+    "discovery",
+    "classes.idempotency",
+    "classes.group",
+    "feedback.how",
+}
 
 
 def placed(path: str) -> str:
-    """The path with the entry of a list that uses the key: the keyed class with a zone, the plan with a ceiling."""
+    """The path with the entry of a list that uses the key: the keyed class with a zone, the plan with a
+    ceiling."""
     section, _, key = path.partition(".")
     return f"{section}.1.{key}" if key and section in ("classes", "contracts") else path
 
@@ -86,8 +203,17 @@
 
 def read(folder: Path, settings: Any, again: bool = False) -> Config:
     file = folder / "config.json"
-    file.write_text(json.dumps({"name": "n", "listen": f"{HOST}:6379", "discovery": f"{HOST}:1",
-                                "counter": f"{HOST}:1", "settings": settings}))
+    file.write_text(
+        json.dumps(
+            {
+                "name": "n",
+                "listen": f"{HOST}:6379",
+                "discovery": f"{HOST}:1",
+                "counter": f"{HOST}:1",
+                "settings": settings,
+            }
+        )
+    )
     return read_config({"LB_CONFIG": str(file)}, folder, again)
 
 
@@ -106,7 +232,9 @@
             with pytest.raises(ConfigError) as caught:
                 read(tmp_path, at(FULL, placed(path), value), again)
             fault = str(caught.value)  # of an object or a list it may be a key inside
-            assert fault.startswith(told(path)[:-1]) and fault[len(told(path)) - 1] in ":.[" and len(fault) < 250
+            assert (
+                fault.startswith(told(path)[:-1]) and fault[len(told(path)) - 1] in ":.[" and len(fault) < 250
+            )
         without = at(FULL, placed(path))
         if path in MAY_LACK:
             if path != "contracts.cap_depth":
@@ -117,19 +245,50 @@
             assert str(caught.value) == f"{told(path)} missing"
 
 
-@pytest.mark.parametrize(("path", "value"), [
-    *((path, 0) for path in (
-        "classes.slo_ms", "classes.deadline_ms", "contracts.most_at_once", "contracts.cap_depth", "instances",
-        "family_info.counter_timeout_ms", "family_info.max_units", "policy_limits.try_limit", "tick_ms",
-        "policy_limits.dial_timeout_ms", "policy_limits.conn_idle_ms", "rules.fall_multiple",
-        "rules.overload_for_ms")),
-    ("me", 5), ("me", 0.5), ("instances", 4.5), ("instances", 10**7), ("policy_limits.try_limit", 1.5),
-    ("policy_limits.try_limit", 10**6), ("contracts.open", 10**9), ("family_info.max_units", 1e7),
-    ("classes.deadline_ms", 1e8), ("classes.window_ms", 1e13), ("rules.cold_from", 1.01), ("contracts.open", 1.5),
-    ("classes.idempotency", "safe"), ("classes.group", "rack"), ("discovery", "pull"), ("feedback.how", "peers"),
-    ("feedback.fields", [1]), ("classes.name", ""), ("classes.name", "tile-read"), ("contracts.name", "field"),
-    ("classes.name", "x" * 300),
-])
+@pytest.mark.parametrize(
+    ("path", "value"),
+    [
+        *(
+            (path, 0)
+            for path in (
+                "classes.slo_ms",
+                "classes.deadline_ms",
+                "contracts.most_at_once",
+                "contracts.cap_depth",
+                "instances",
+                "family_info.counter_timeout_ms",
+                "family_info.max_units",
+                "policy_limits.try_limit",
+                "tick_ms",
+                "policy_limits.dial_timeout_ms",
+                "policy_limits.conn_idle_ms",
+                "rules.fall_multiple",
+                "rules.overload_for_ms",
+            )
+        ),
+        ("me", 5),
+        ("me", 0.5),
+        ("instances", 4.5),
+        ("instances", 10**7),
+        ("policy_limits.try_limit", 1.5),
+        ("policy_limits.try_limit", 10**6),
+        ("contracts.open", 10**9),
+        ("family_info.max_units", 1e7),
+        ("classes.deadline_ms", 1e8),
+        ("classes.window_ms", 1e13),
+        ("rules.cold_from", 1.01),
+        ("contracts.open", 1.5),
+        ("classes.idempotency", "safe"),
+        ("classes.group", "rack"),
+        ("discovery", "pull"),
+        ("feedback.how", "peers"),
+        ("feedback.fields", [1]),
+        ("classes.name", ""),
+        ("classes.name", "tile-read"),
+        ("contracts.name", "field"),
+        ("classes.name", "x" * 300),
+    ],
+)
 def test_a_setting_out_of_its_range_is_named(path: str, value: object, tmp_path: Path) -> None:
     with pytest.raises(ConfigError) as caught:
         read(tmp_path, at(FULL, placed(path), value))
@@ -139,7 +298,11 @@
 def test_settings_of_another_customer_are_taken_as_they_are(tmp_path: Path) -> None:
     made = read(tmp_path, FULL)
     assert [(c.effect.name, c.group.name, c.window_ms) for c in made.settings.classes] == [
-        ("SAFE", "ALL", 5000.0), ("KEYED", "ZONE", 5000.0), ("KEYED", "CELL", 600.0), ("UNSAFE", "ALL", 0.0)]
+        ("SAFE", "ALL", 5000.0),
+        ("KEYED", "ZONE", 5000.0),
+        ("KEYED", "CELL", 600.0),
+        ("UNSAFE", "ALL", 0.0),
+    ]
     assert made.settings.plans[2] == api.Plan("open-only", open_limit=5, over_cost=0.5)
     assert (made.settings.must_subscribe, made.settings.ask_within_ms, made.settings.me) == (True, 8000.0, 4)
     assert (made.connect_ms, made.idle_ms, made.report_names) == (400.0, 45_000.0, ("q", "busy"))
@@ -147,16 +310,22 @@
     made = read(tmp_path, at(other, "tiers", ["front", "middle", "back"]))
     assert (made.report_names, made.settings.has_counter, made.settings.zone) == ((), False, "")
     assert made.settings.counter_timeout_ms == 0.0
-    assert read(tmp_path, at(at(other, "zones", []), "discovery", "automatic")).settings.must_subscribe is False
+    assert (
+        read(tmp_path, at(at(other, "zones", []), "discovery", "automatic")).settings.must_subscribe is False
+    )
     assert read(tmp_path, at(at(other, "zones", []), "zone")).settings.zone == ""  # a site without zones
 
 
-def test_a_key_that_no_page_names_is_told_and_no_fault(tmp_path: Path, caplog: pytest.LogCaptureFixture) -> None:
+def test_a_key_that_no_page_names_is_told_and_no_fault(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture
+) -> None:
     assert unknown(FULL) == []
     strange = at(at(at(FULL, "clases", []), "classes.1.windows_ms", 1), "rules.fall_times", 2)
     caplog.set_level(logging.WARNING)
     assert read(tmp_path, strange).settings == settings_from(FULL)
-    assert caplog.messages == ["settings unknown to this program: clases, classes.windows_ms, rules.fall_times"]
+    assert caplog.messages == [
+        "settings unknown to this program: clases, classes.windows_ms, rules.fall_times"
+    ]
     caplog.clear()
     read(tmp_path, {**FULL, **{f"odd-{n}" * 40: n for n in range(10_000)}})
     assert len(caplog.messages) == 1 and len(caplog.messages[0]) < 2000
@@ -166,13 +335,23 @@
     for path, value in (("classes.slo_ms", 0), ("feedback.fields", 5)):
         with pytest.raises(ConfigError):
             read(tmp_path, at(FULL, placed(path), value))
-        ended = subprocess.run([sys.executable, "-m", "badgeryoke"], cwd=ROOT, capture_output=True, text=True,
-                               check=False, env={**os.environ, "LB_CONFIG": str(tmp_path / "config.json")})
-        assert ended.returncode == 1 and ended.stderr.startswith(f"badgeryoke: configuration: {told(path)} expected")
+        ended = subprocess.run(
+            [sys.executable, "-m", "badgeryoke"],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            check=False,
+            env={**os.environ, "LB_CONFIG": str(tmp_path / "config.json")},
+        )
+        assert ended.returncode == 1 and ended.stderr.startswith(
+            f"badgeryoke: configuration: {told(path)} expected"
+        )
         assert ended.stderr.count("\n") == 1
 
 
-def test_a_faulty_file_at_sighup_costs_nobody_an_answer(tmp_path: Path, caplog: pytest.LogCaptureFixture) -> None:
+def test_a_faulty_file_at_sighup_costs_nobody_an_answer(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture
+) -> None:
     """The files come in a row over one gateway, which serves on by the settings it has."""
     faulty = [copy.deepcopy(FULL) for _ in range(3)]
     faulty[0]["feedback"]["fields"] = 7
@@ -195,4 +374,6 @@
     caplog.set_level(logging.ERROR)
     play(test)
     assert [message.split(": expected")[0] for message in caplog.messages] == [
-        f"reload: configuration: setting {key}" for key in ("feedback.fields", "classes[0].slo_ms", "contracts")]
+        f"reload: configuration: setting {key}"
+        for key in ("feedback.fields", "classes[0].slo_ms", "contracts")
+    ]
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -135,8 +135,10 @@
 
 def test_a_failing_server_comes_back_before_all_others_have_failed() -> None:
     """L725790: all gateways left the slow half at once, and the sound half jammed in its turn."""
-    seen = [play(one_of_many(seed=n), frozenset({play(one_of_many(seed=n), frozenset(), 1)[0]}), 400, 800.0)
-            for n in range(40)]
+    seen = [
+        play(one_of_many(seed=n), frozenset({play(one_of_many(seed=n), frozenset(), 1)[0]}), 400, 800.0)
+        for n in range(40)
+    ]
     assert any(tries.count(tries[0]) > 1 for tries in seen)
 
 
--- a/tests/test_ten_times.py
+++ b/tests/test_ten_times.py
@@ -42,7 +42,8 @@
     for n in range(REQUESTS):
         now = START + n * step_ms
         todo: list[api.Event] = [
-            api.Request(f"r{n}", "read", "capped", n % CUSTOMERS, 2000.0, 1.0, gateways, 0)]
+            api.Request(f"r{n}", "read", "capped", n % CUSTOMERS, 2000.0, 1.0, gateways, 0)
+        ]
         while todo:
             event = todo.pop(0)
             sys.settrace(trace)
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -20,9 +20,16 @@
 T0 = 48_000_000.0  # an era begins here
 
 
-@pytest.mark.parametrize(("total", "expected"), [
-    (0.0, (0, 0, 0, 0, 0, 0, 0)), (213.0, (3, 1, 2, 0, 0, 0, 0)), (2_000_031.0, (1, 3, 0, 0, 0, 0, 2)),
-    (-7.0, (0,) * 7), (1e7, (0,) * 7)])
+@pytest.mark.parametrize(
+    ("total", "expected"),
+    [
+        (0.0, (0, 0, 0, 0, 0, 0, 0)),
+        (213.0, (3, 1, 2, 0, 0, 0, 0)),
+        (2_000_031.0, (1, 3, 0, 0, 0, 0, 2)),
+        (-7.0, (0,) * 7),
+        (1e7, (0,) * 7),
+    ],
+)
 def test_digits_of_a_total(total: float, expected: tuple[int, ...]) -> None:
     assert roll.digits(total) == expected
 
@@ -116,11 +123,17 @@
     assert fleet.watches[0].sight.part(0, 3) == 1.0
 
 
-@pytest.mark.parametrize(("groups", "parts"), [
-    (((0,), (1, 2)), [1 / 3, 2 / 3, 2 / 3]), (((0,), (1,), (2,)), [1 / 3] * 3),
-    (((0, 2), (1,)), [2 / 3, 1 / 3, 2 / 3])])
+@pytest.mark.parametrize(
+    ("groups", "parts"),
+    [
+        (((0,), (1, 2)), [1 / 3, 2 / 3, 2 / 3]),
+        (((0,), (1,), (2,)), [1 / 3] * 3),
+        (((0, 2), (1,)), [2 / 3, 1 / 3, 2 / 3]),
+    ],
+)
 def test_a_split_is_seen_on_all_sides_and_its_parts_sum_to_one(
-        groups: tuple[tuple[int, ...], ...], parts: list[float]) -> None:
+    groups: tuple[tuple[int, ...], ...], parts: list[float]
+) -> None:
     fleet = Fleet(3)
     fleet.run(10_000.0)
     fleet.split(*groups)
--- a/tests/test_watch_machine.py
+++ b/tests/test_watch_machine.py
@@ -108,12 +108,18 @@
 
 
 TestLosses = Losses.TestCase
-TestLosses.settings = settings(max_examples=60, stateful_step_count=25, deadline=None, derandomize=True,
-                               suppress_health_check=list(HealthCheck))
+TestLosses.settings = settings(
+    max_examples=60,
+    stateful_step_count=25,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=list(HealthCheck),
+)
 
 
 def test_a_restart_and_a_forgetful_counter_while_one_hears_nothing() -> None:
-    """The smallest case that the state machine finds where restarts and swaps meet: listed in KNOWN-RED.txt."""
+    """The smallest case that the state machine finds where restarts and swaps meet: listed in
+    KNOWN-RED.txt."""
     fleet = Fleet(GATEWAYS)
     fleet.run(6000.0)
     fleet.watches[1] = Watch(1, GATEWAYS, 50.0)
--- a/tests/test_watch_worlds.py
+++ b/tests/test_watch_worlds.py
@@ -24,8 +24,11 @@
     made = []
     for _ in range(draw(st.integers(1, 6))):
         at = float(draw(st.integers(1000, 7000)))
-        word = draw(st.sampled_from(("split", "heal", "kill", "start", "freeze", "thaw", "swap", "restore",
-                                     "slow", "spike")))
+        word = draw(
+            st.sampled_from(
+                ("split", "heal", "kill", "start", "freeze", "thaw", "swap", "restore", "slow", "spike")
+            )
+        )
         groups: tuple[tuple[int, ...], ...] = ((draw(st.integers(1, 3)),),)
         mode, amount, target = "", 1000.0, "counter"
         if word == "split":
@@ -43,13 +46,25 @@
     return tuple(sorted(made, key=lambda fault: fault.at_ms))
 
 
-@settings(max_examples=20, deadline=None, derandomize=True, phases=[Phase.generate],
-          suppress_health_check=list(HealthCheck))
+@settings(
+    max_examples=20,
+    deadline=None,
+    derandomize=True,
+    phases=[Phase.generate],
+    suppress_health_check=list(HealthCheck),
+)
 @given(faults(), st.integers(0, 2**16), st.floats(0.5, 7.0), st.floats(0.0, 200.0))
 def test_any_order_of_losses_keeps_the_ceiling(
-        happening: tuple[Fault, ...], seed: int, demand: float, skew: float) -> None:
-    scenario = Scenario("drawn", length_ms=8000.0, plans=(HARD,), faults=happening, clock_skew_ms=skew,
-                        crowds=(Crowd(2, "distributor", (2, 3), (demand, demand), 0.73, 3000.0),))
+    happening: tuple[Fault, ...], seed: int, demand: float, skew: float
+) -> None:
+    scenario = Scenario(
+        "drawn",
+        length_ms=8000.0,
+        plans=(HARD,),
+        faults=happening,
+        clock_skew_ms=skew,
+        crowds=(Crowd(2, "distributor", (2, 3), (demand, demand), 0.73, 3000.0),),
+    )
     verdict = play(scenario, seed).verdict
     assert verdict.ceiling_excess <= CEILING_ERROR
     assert verdict.unanswered == verdict.twice_answered == 0
@@ -58,11 +73,16 @@
 @pytest.mark.parametrize("spike", [10.0, 60.0])
 @pytest.mark.parametrize("sides", GROUPS)
 def test_a_burst_from_full_stores_at_the_moment_of_a_split_keeps_the_ceiling(
-        spike: float, sides: tuple[tuple[int, ...], ...]) -> None:
+    spike: float, sides: tuple[tuple[int, ...], ...]
+) -> None:
     """Before anybody can have seen it, all sides spend: 18 times the quota overdrew ceilings by a half."""
     scenario = Scenario(
-        "burst", length_ms=7000.0, plans=(HARD,), crowds=(Crowd(3, "distributor", (3, 3), (0.3, 0.3)),),
-        faults=(Fault(4000.0, "spike", "customers", amount=spike), Fault(4000.0, "split", "counter", sides)))
+        "burst",
+        length_ms=7000.0,
+        plans=(HARD,),
+        crowds=(Crowd(3, "distributor", (3, 3), (0.3, 0.3)),),
+        faults=(Fault(4000.0, "spike", "customers", amount=spike), Fault(4000.0, "split", "counter", sides)),
+    )
     verdict = play(scenario, 1).verdict
     assert verdict.ceiling_excess <= CEILING_ERROR and verdict.tries > 300
 
@@ -96,8 +116,9 @@
             return super().call(now, gateway, name, units, life_ms)
 
         def happen(self, now: float, fault: Fault) -> None:
-            alive = [{name for name, (_, ends) in side[0].totals.items() if ends > now}
-                     for side in self._sides]
+            alive = [
+                {name for name, (_, ends) in side[0].totals.items() if ends > now} for side in self._sides
+            ]
             super().happen(now, fault)
             if fault.word == "heal":
                 held = self._sides[0][0].totals
