--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # The virtual environments are made afresh whenever the file that fills them has changed.  `badgeryoke` in .venv
 # is the checkout itself, with the laboratory; the platform's own build, in deploy/balancer.toml, is leaner.
-.PHONY: build test lint run demo sites
+.PHONY: build test format lint run demo sites
 
 BUILT = .venv/requirements-lab.txt
 
@@ -18,7 +18,12 @@
 	.ci-venv/bin/pip -q install -r requirements-dev.txt
 	cp requirements-dev.txt $@
 
+format: .ci-venv/requirements-dev.txt
+	.ci-venv/bin/ruff format .
+	.ci-venv/bin/ruff check --fix .
+
 lint: .ci-venv/requirements-dev.txt
+	.ci-venv/bin/ruff format --check .
 	.ci-venv/bin/ruff check .
 	.ci-venv/bin/mypy
 
