--- a/badgeryoke/__init__.py
+++ b/badgeryoke/__init__.py
@@ -1,1 +1,1 @@
-"""badgeryoke: a gateway on real sockets round the decision module in martenstep."""
+"""badgeryoke: a gateway on real sockets that keeps prepaid-load resellers to their quotas."""
--- a/badgeryoke/__main__.py
+++ b/badgeryoke/__main__.py
@@ -5,9 +5,9 @@
 import sys
 from pathlib import Path
 
-from badgeryoke.config import ConfigError, read_config
-from badgeryoke.gateway import App
-from badgeryoke.logs import set_up
+from badgeryoke.gateway.application import App
+from badgeryoke.gateway.config.platform_file import ConfigError, read_config
+from badgeryoke.gateway.log_format import set_up
 
 
 async def main() -> None:
--- a/badgeryoke/cli/main.py
+++ b/badgeryoke/cli/main.py
@@ -10,8 +10,8 @@
 import click
 import ujson
 
-from badgeryoke.config import ConfigError, read_config, read_diameter
-from badgeryoke.operators import NAME, OperatorsError, read_operators
+from badgeryoke.gateway.config.operators_file import NAME, OperatorsError, read_operators
+from badgeryoke.gateway.config.platform_file import ConfigError, read_config, read_diameter
 
 BAD, UNUSABLE, MISSING, FAILED = 1, 2, 3, 4
 
@@ -79,7 +79,7 @@
         except ConfigError as fault:
             faults = [str(fault)]
     elif file.name == "diameter.toml":
-        from martenstep.interface import Settings
+        from badgeryoke.decisions.interface import Settings
 
         try:
             read_diameter(file, Settings(0, 1, "", 1.0, (), ()))
@@ -101,7 +101,7 @@
 def _laboratory() -> None:
     """Hang in the laboratory's commands, where its extra is installed."""
     try:
-        from lab.commands import demo, lab
+        from badgeryoke.testbed.commands import demo, lab
     except ImportError as fault:
 
         @cli.command(name="lab", context_settings={"ignore_unknown_options": True})
--- a/fleet/founding.py
+++ b/badgeryoke/cluster/bootstrap.py
@@ -22,10 +22,21 @@
 
 import msgspec
 
-from fleet.errors import AnotherFleet, BadFrame, FleetError
-from fleet.events import HardState, Received, Saved, Say, Send, Snapshot, Store, StoreBroke, Stored, Tick
-from fleet.messages import Config, Found, IAm, Id, WhoAreYou, name_of
-from fleet.setup import FOUNDING, Setup
+from badgeryoke.cluster.errors import AnotherFleet, BadFrame, FleetError
+from badgeryoke.cluster.events import (
+    HardState,
+    Received,
+    Saved,
+    Say,
+    Send,
+    Snapshot,
+    Store,
+    StoreBroke,
+    Stored,
+    Tick,
+)
+from badgeryoke.cluster.messages import Config, Found, IAm, Id, WhoAreYou, name_of
+from badgeryoke.cluster.node_setup import FOUNDING, Setup
 
 MOST_MEMBERS = 1024
 MOST_BYTES = 256 * 1024  # of a record
--- a/fleet/connections.py
+++ b/badgeryoke/cluster/connection_limits.py
@@ -32,21 +32,20 @@
 
 import msgspec
 
-from fleet.errors import BadCall, FleetError, NotThere, TakenId, WrongState
-from fleet.invariants import Invariants, Rule
-from fleet.leases import EDGE, Divided, Grant
-from fleet.messages import Id, name_of
-from fleet.part import Applied, Command, View
-from fleet.timings import Timings
+from badgeryoke.cluster.errors import BadCall, FleetError, NotThere, TakenId, WrongState
+from badgeryoke.cluster.invariants import Invariants, Rule
+from badgeryoke.cluster.leases.lease_pool import EDGE, Divided, Grant
+from badgeryoke.cluster.messages import Id, name_of
+from badgeryoke.cluster.state_machine.part import Applied, Command, View
+from badgeryoke.cluster.timings import Timings
 
 BUCKETS = 16
 LEASES = 5.0  # lives of a lease on a rate
 RENEWALS = 3.0  # in the life of a lease
 CLOSING_MS = 300.0  # before a lease's end nothing is opened and all is being closed
 SHORT_MS = 200.0  # between two askings for more; doubled while nothing comes, up to a renewal's time
-UNKNOWN_MS = (
-    1000.0  # pause between two askings from which on a server's limit counts as forgotten, not as to come
-)
+# pause between two askings from which on a server's limit counts as forgotten, not as to come
+UNKNOWN_MS = 1000.0
 RESET_MS = 1000.0  # after a start, until what a process before it had open counts as closed by the kernel
 MOST_SERVERS = 4096  # of one group; more limits are refused
 MOST_ASKS = 256  # servers in one call; the rest goes with the next
@@ -189,7 +188,7 @@
         self._last = 0  # number of the last lease: a server that comes back does not begin at 1 again
 
     def apply(self, at_ms: float, command: Any) -> Applied:
-        """See fleet.part."""
+        """See badgeryoke.cluster.state_machine.part."""
         if said := command.fault():
             return Applied(error=BadCall(command.key(), said))
         if isinstance(command, Limit):
@@ -323,7 +322,7 @@
         return made
 
     def seen(self, now: float) -> None:
-        """See fleet.part."""
+        """See badgeryoke.cluster.state_machine.part."""
         for one in self.servers.values():
             one.parts.seen(now)
 
@@ -339,14 +338,14 @@
         }
 
     def dump(self) -> Any:
-        """See fleet.part."""
+        """See badgeryoke.cluster.state_machine.part."""
         return [
             self._last,
             [[server, one.idle_ms, one.gone, one.parts.dump()] for server, one in self.servers.items()],
         ]
 
     def load(self, raw: Any) -> None:
-        """See fleet.part."""
+        """See badgeryoke.cluster.state_machine.part."""
         self._last = raw[0]
         self.servers = {
             server: _Server(idle_ms, Divided.load(parts), gone) for server, idle_ms, gone, parts in raw[1]
--- a/fleet/events.py
+++ b/badgeryoke/cluster/events.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass
 from typing import Any
 
-from fleet.errors import FleetError
-from fleet.messages import AnyMessage, Config, Entry, Id
+from badgeryoke.cluster.errors import FleetError
+from badgeryoke.cluster.messages import AnyMessage, Config, Entry, Id
 
 # What a store keeps of one group
 # -------------------------------------------------------------------------------------
@@ -173,7 +173,7 @@
     The node answers with Done(token, ...) exactly once, within `call_ms`."""
 
     token: str
-    command: Any  # a fleet.part.Command
+    command: Any  # a badgeryoke.cluster.state_machine.part.Command
 
 
 @dataclass(frozen=True, slots=True)
--- a/fleet/promises.py
+++ b/badgeryoke/cluster/key_value.py
@@ -5,8 +5,8 @@
 
 from typing import Any, ClassVar
 
-from fleet.errors import Crowded
-from fleet.part import Applied, Command, View
+from badgeryoke.cluster.errors import Crowded
+from badgeryoke.cluster.state_machine.part import Applied, Command, View
 
 MOST_BYTES = (
     16 * 1024 * 1024
--- /dev/null
+++ b/badgeryoke/cluster/leases/__init__.py
@@ -0,0 +1,1 @@
+"""Division of a limited resource into leased shares."""
--- a/fleet/leases.py
+++ b/badgeryoke/cluster/leases/lease_pool.py
@@ -23,9 +23,9 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from fleet.errors import BadCall, LeaseOver
-from fleet.invariants import Invariants, Rule
-from fleet.messages import Id
+from badgeryoke.cluster.errors import BadCall, LeaseOver
+from badgeryoke.cluster.invariants import Invariants, Rule
+from badgeryoke.cluster.messages import Id
 
 EDGE = 1e-9
 MOST_HOLDERS = 1024
--- /dev/null
+++ b/badgeryoke/cluster/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Failure detection and dissemination of membership by gossip (SWIM with Lifeguard)."""
--- a/fleet/membership.py
+++ b/badgeryoke/cluster/membership/protocol.py
@@ -31,10 +31,10 @@
 from heapq import nsmallest
 from random import Random
 
-from fleet.events import Received, Say, Send, Tick
-from fleet.messages import Ack, Id, Nack, Ping, PingFor, Rumour, name_of
-from fleet.setup import Member
-from fleet.timings import Timings
+from badgeryoke.cluster.events import Received, Say, Send, Tick
+from badgeryoke.cluster.messages import Ack, Id, Nack, Ping, PingFor, Rumour, name_of
+from badgeryoke.cluster.node_setup import Member
+from badgeryoke.cluster.timings import Timings
 
 ALIVE, SUSPECT, DEAD, LEFT = range(4)
 STATES = ("alive", "suspected", "dead", "left")
@@ -45,9 +45,8 @@
 LONGEST_SUSPICION = 3.0  # times the least, where nobody else suspects
 MOST_OUT = 64  # probes and relays remembered; the oldest goes
 MOST_GONE = 4  # earlier Ids kept of a name
-LEFT_GRACE = (
-    10.0  # who left in order counts as dead only after so many `repair_after_ms`: a restart is no loss
-)
+# who left in order counts as dead only after so many `repair_after_ms`: a restart is no loss
+LEFT_GRACE = 10.0
 PATIENCE = 4.0  # a probe of a slow link waits so many periods at most
 
 
@@ -121,9 +120,8 @@
         self._probes: dict[int, _Probe] = {}
         self._relays: dict[int, _Relay] = {}
         self._suspects: dict[str, None] = {}
-        self._took = (
-            0.0  # what an answer takes of late, over all: where all links are slow, nobody is dead of it
-        )
+        # what an answer takes of late, over all: where all links are slow, nobody is dead of it
+        self._took = 0.0
         self._rumours: dict[tuple[str, Id], _Told] = {}  # by name, and by who suspects it
         self._periods = 0
         self._next = now + draw.random() * timings.probe_ms if self._peers else math.inf
--- a/fleet/node.py
+++ b/badgeryoke/cluster/node.py
@@ -1,7 +1,8 @@
 """One gateway's whole share in the fleet: membership, the replicas of its groups, its calls and its leases.
 
-The same object runs in a gateway (`badgeryoke/fleet/service`) and in simulated time (`lab/fleet/world`); both
-hand it events and carry out its effects, and nothing else decides.
+The same object runs in a gateway (`badgeryoke/gateway/cluster/service`) and in simulated time
+(`badgeryoke/testbed/cluster_simulation/world`); both hand it events and carry out its effects, and nothing
+else decides.
 """
 
 from __future__ import annotations
@@ -14,8 +15,9 @@
 
 import msgspec
 
-from fleet.connections import Limit, bucket
-from fleet.errors import (
+from badgeryoke.cluster.bootstrap import Founding
+from badgeryoke.cluster.connection_limits import Limit, bucket
+from badgeryoke.cluster.errors import (
     AnyError,
     BadCall,
     Crowded,
@@ -25,7 +27,7 @@
     StoreFailed,
     UnknownOutcome,
 )
-from fleet.events import (
+from badgeryoke.cluster.events import (
     Call,
     Done,
     Effect,
@@ -43,11 +45,9 @@
     Stored,
     Tick,
 )
-from fleet.founding import Founding
-from fleet.groups import Places, Placing, first_placing, group_of
-from fleet.invariants import Invariants
-from fleet.membership import Membership
-from fleet.messages import (
+from badgeryoke.cluster.invariants import Invariants
+from badgeryoke.cluster.membership.protocol import Membership
+from badgeryoke.cluster.messages import (
     Ack,
     Config,
     Forward,
@@ -62,27 +62,26 @@
     WhoAreYou,
     name_of,
 )
-from fleet.part import FLEET, Applied, Command, View
-from fleet.replica import Replica
-from fleet.setup import FOUNDING, Holder, Member, Setup
-from fleet.state import GroupState, decode, encode
+from badgeryoke.cluster.node_setup import FOUNDING, Holder, Member, Setup
+from badgeryoke.cluster.placement.directory import Places, Placing, first_placing, group_of
+from badgeryoke.cluster.raft.node import Replica
+from badgeryoke.cluster.state_machine.machine import GroupState, decode, encode
+from badgeryoke.cluster.state_machine.part import FLEET, Applied, Command, View
 
 __all__ = ["FOUNDING", "Holder", "Member", "Node", "Setup"]
 MOST_CALLS = 4096  # calls of this gateway that have no answer yet; more are refused
 MOST_MET = 8192  # Ids heard by one process; further ones are not counted on
 MOST_HOPS = 3  # of a call on its way to a leader
-TRY_PART = (
-    0.25  # of `call_ms`, after which a call without an answer is made again: its id makes that harmless
-)
+# of `call_ms`, after which a call without an answer is made again: its id makes that harmless
+TRY_PART = 0.25
 PAUSE_MS = 40.0  # before a call that found no leader is made again
 LATE_MS = 1000.0  # a voter that has not caught up for so long is reported as behind
 HEARD_MS = 3000.0  # any other member reads it so often, to know whom to ask
 SOON_MS = 50.0  # and again so soon, while something changes
 PLACES_MS = 400.0  # a member that leads a group reads so often who is to copy it, while not all is well
 CALM_MS = 1600.0  # and so often once all was well for
-WELL_MS = (
-    5000.0  # so long (a roll's next gateway has gone by then), or along with another reading there after half
-)
+# so long (a roll's next gateway has gone by then), or along with another reading there after half
+WELL_MS = 5000.0
 ANY = "*"  # in Setup.servers: each server that is not named
 POLL_MS = 50.0  # the holders' calls are looked for so often
 
@@ -131,9 +130,8 @@
         self._saved = dict(saved)
         self._halls = {member.name: member.hall for member in setup.members}
         self.load: dict[str, float] = {"capacity": setup.capacity}
-        self.lead_nothing = (
-            False  # set by the shell while a roll takes this gateway: what is led goes to others
-        )
+        # set by the shell while a roll takes this gateway: what is led goes to others
+        self.lead_nothing = False
         self.holders = list(holders)
         self.replicas: dict[str, Replica] = {}
         self.states: dict[str, GroupState] = {}
@@ -163,9 +161,8 @@
         self._timed = len(self._halls) <= 1  # whether a majority's clocks were heard
         self.limits = {name: most for name, most in setup.servers.items() if name != ANY}
         self._last = 0
-        self._begun = (
-            f"{draw.getrandbits(48):012x}"  # tokens of an earlier life are not answered as this one's
-        )
+        # tokens of an earlier life are not answered as this one's
+        self._begun = f"{draw.getrandbits(48):012x}"
         self._work_at = self._poll_at = now
         self._rolled = "", 0  # the roll under way, and its changes when this member last looked
         self._leaving: tuple[str, float] | None = None
--- a/fleet/setup.py
+++ b/badgeryoke/cluster/node_setup.py
@@ -5,10 +5,10 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from fleet.errors import FleetError
-from fleet.messages import Id
-from fleet.part import Applied, Command
-from fleet.timings import Timings
+from badgeryoke.cluster.errors import FleetError
+from badgeryoke.cluster.messages import Id
+from badgeryoke.cluster.state_machine.part import Applied, Command
+from badgeryoke.cluster.timings import Timings
 
 FOUNDING = ""  # the group under which a store keeps the founding record, as a Snapshot's body
 
--- /dev/null
+++ b/badgeryoke/cluster/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Assignment of replica groups to members, and repair of lost replicas."""
--- a/fleet/groups.py
+++ b/badgeryoke/cluster/placement/directory.py
@@ -25,21 +25,20 @@
 import msgspec
 import xxhash
 
-from fleet.errors import BadCall, Crowded, NotThere, StaleIncarnation, WrongState
-from fleet.events import Change, Saved
-from fleet.founding import MOST_MEMBERS, Record
-from fleet.invariants import Invariants, Rule
-from fleet.log import Log, encode_config
-from fleet.messages import CONFIG, NOTHING, Config, Entry, Id, name_of
-from fleet.part import FLEET, Applied, Command, View
-from fleet.timings import Timings
+from badgeryoke.cluster.bootstrap import MOST_MEMBERS, Record
+from badgeryoke.cluster.errors import BadCall, Crowded, NotThere, StaleIncarnation, WrongState
+from badgeryoke.cluster.events import Change, Saved
+from badgeryoke.cluster.invariants import Invariants, Rule
+from badgeryoke.cluster.messages import CONFIG, NOTHING, Config, Entry, Id, name_of
+from badgeryoke.cluster.raft.log import Log, encode_config
+from badgeryoke.cluster.state_machine.part import FLEET, Applied, Command, View
+from badgeryoke.cluster.timings import Timings
 
 LONGEST_NAME = 64
 MOST_PAST = 4  # earlier Ids remembered of a name: none of them can come back
 SLOW = "the newcomer does not catch up"
-LONGEST_MOVE_MS = (
-    60_000.0  # a newcomer that takes longer to catch up is given up, and not asked again for as long
-)
+# a newcomer that takes longer to catch up is given up, and not asked again for as long
+LONGEST_MOVE_MS = 60_000.0
 FORCED_TERMS = 1 << 20  # a forced group's term goes on by so much: no member given up can have reached it
 
 
--- /dev/null
+++ b/badgeryoke/cluster/raft/__init__.py
@@ -0,0 +1,1 @@
+"""The Raft consensus algorithm, without I/O."""
--- a/fleet/log.py
+++ b/badgeryoke/cluster/raft/log.py
@@ -9,8 +9,8 @@
 
 import msgspec
 
-from fleet.events import Saved
-from fleet.messages import CONFIG, Config, Entry
+from badgeryoke.cluster.events import Saved
+from badgeryoke.cluster.messages import CONFIG, Config, Entry
 
 _decode = msgspec.msgpack.Decoder(Config).decode
 encode_config = msgspec.msgpack.Encoder().encode
--- a/fleet/replica.py
+++ b/badgeryoke/cluster/raft/node.py
@@ -30,7 +30,7 @@
 from enum import Enum
 from typing import Any, Protocol
 
-from fleet.errors import (
+from badgeryoke.cluster.errors import (
     BadCall,
     Crowded,
     FleetError,
@@ -41,7 +41,7 @@
     UnknownOutcome,
     WrongState,
 )
-from fleet.events import (
+from badgeryoke.cluster.events import (
     Change,
     Done,
     Effect,
@@ -63,9 +63,8 @@
     Stored,
     Tick,
 )
-from fleet.invariants import Invariants, Rule
-from fleet.log import Log, encode_config
-from fleet.messages import (
+from badgeryoke.cluster.invariants import Invariants, Rule
+from badgeryoke.cluster.messages import (
     COMMAND,
     CONFIG,
     NOTHING,
@@ -80,7 +79,8 @@
     PieceTaken,
     Vote,
 )
-from fleet.timings import Timings
+from badgeryoke.cluster.raft.log import Log, encode_config
+from badgeryoke.cluster.timings import Timings
 
 WINDOW = 4  # batches to one member without an answer; what comes meanwhile makes the next batch
 MOST_BODY = 128 * 1024  # bytes of one proposal; a longer one is refused
--- a/fleet/contracts.py
+++ b/badgeryoke/cluster/reservations/contract.py
@@ -8,7 +8,7 @@
 its end).
 
 `Floors` is a part of a tenant's group: it divides each contract's rate and burst over the gateways
-(`fleet.leases`).
+(`badgeryoke.cluster.leases.lease_pool`).
 
 A change (a cancelling is one, to no windows) has a number and one moment from which it holds, two lives of a
 lease ahead at the least.  The fleet's group opens it at the tenant's group; that holds to it from its moment,
@@ -18,7 +18,7 @@
 What the two groups do for each other is asked again until it is answered, by ids that make a repeat harmless.
 
 Source: the operators' wish "Reserved capacity contracts"; admission by rates over windows grew out of the
-reservations of `martenstep/plans`.  States are data, in TRANSITIONS.
+reservations of `badgeryoke/decisions/plan_schedule`.  States are data, in TRANSITIONS.
 """
 
 from __future__ import annotations
@@ -34,12 +34,12 @@
 
 import msgspec
 
-from fleet.errors import AnyError, BadCall, Crowded, LeaseOver, NoRoom, NotThere, WrongState
-from fleet.invariants import Invariants, Rule
-from fleet.leases import EDGE, MOST_HOLDERS, Divided, Grant
-from fleet.messages import Id
-from fleet.part import Applied, Command, View
-from fleet.timings import Timings
+from badgeryoke.cluster.errors import AnyError, BadCall, Crowded, LeaseOver, NoRoom, NotThere, WrongState
+from badgeryoke.cluster.invariants import Invariants, Rule
+from badgeryoke.cluster.leases.lease_pool import EDGE, MOST_HOLDERS, Divided, Grant
+from badgeryoke.cluster.messages import Id
+from badgeryoke.cluster.state_machine.part import Applied, Command, View
+from badgeryoke.cluster.timings import Timings
 
 MOST_CONTRACTS = 1000  # not settled, in the fleet; more are refused
 MOST_OF_TENANT = 16
@@ -65,9 +65,8 @@
 MOST_OPEN = 20_000  # slices told and not compared yet; above, the older half is compared early
 SETTLED_SLICES = 400  # after so many more a slice is compared with what was due: 2 s
 AHEAD_SLICES = 400  # of a clock that is ahead
-KEPT_SLICES = (
-    120_000  # are remembered for what a gateway that was cut off tells late; later still, it is not counted
-)
+# are remembered for what a gateway that was cut off tells late; later still, it is not counted
+KEPT_SLICES = 120_000
 REST_MS = 500.0  # without a request: what was due until then and was not drawn never will be
 LONGEST_WAIT_MS = 300.0  # of a request at a gateway, for its turn
 NO_LEASE = "no lease"  # units that no gateway had a part for, where the tenant asked
@@ -343,7 +342,7 @@
 
 class Lease(_OfTenant, frozen=True, kw_only=True):
     """Renew, shrink, grow or give back a part of a contract's rate and burst: see
-    `fleet.leases.Divided.ask`."""
+    `badgeryoke.cluster.leases.lease_pool.Divided.ask`."""
 
     once: ClassVar[bool] = False  # its number states the order; the last answer is kept for a repeat
 
@@ -551,7 +550,7 @@
         return self._timings.outlast()
 
     def apply(self, at_ms: float, command: Any) -> Applied:
-        """See fleet.part."""
+        """See badgeryoke.cluster.state_machine.part."""
         if said := command.fault():
             return Applied(error=BadCall(getattr(command, "contract", "") or "capacity", said))
         for one in self.held.values():
@@ -579,7 +578,7 @@
         return result
 
     def look(self, command: Any) -> Applied:
-        """See fleet.part."""
+        """See badgeryoke.cluster.state_machine.part."""
         if isinstance(command, ContractsKnown):
             return Applied(
                 {"known": self.known}
@@ -783,8 +782,8 @@
         self.capacity, self.reserve, self.floor = command.units, command.reserve, command.floor
         self.halls = dict(sorted(command.halls.items()))
         self.stated += 1
-        # What was promised stays promised: it is for `fleet.share` to say who goes first, and nothing new is
-        # admitted.
+        # What was promised stays promised: it is for `badgeryoke.cluster.reservations.priority_shedding` to
+        # say who goes first, and nothing new is admitted.
         self._booked = {hall: self._line(hall).peak(at_ms, math.inf) for hall in ("", *self.halls)}
         return Applied({"available": self.available(), "over": max(self._booked[""] - self.available(), 0.0)})
 
@@ -909,7 +908,7 @@
         }
 
     def dump(self) -> Any:
-        """See fleet.part."""
+        """See badgeryoke.cluster.state_machine.part."""
         figures, counts = [self.capacity, self.reserve, self.floor], [self.made, self.stated, self.known]
         return [
             figures,
@@ -932,7 +931,7 @@
         ]
 
     def load(self, raw: Any) -> None:
-        """See fleet.part."""
+        """See badgeryoke.cluster.state_machine.part."""
         figures, self.halls, counts, self._booked, held = raw
         self.capacity, self.reserve, self.floor = figures
         self.made, self.stated, self.known = counts
@@ -1087,15 +1086,14 @@
     def __init__(self, timings: Timings, rules: Invariants) -> None:
         self._timings, self._rules = timings, rules
         self.held: dict[str, Floor] = {}
-        self.last = (
-            0  # number of the last lease of any contract: one that comes back does not begin at 1 again
-        )
+        # number of the last lease of any contract: one that comes back does not begin at 1 again
+        self.last = 0
         self._told: dict[str, tuple[float, float]] = {}
         self._shorts: dict[str, tuple[float, float]] = {}
         self._fresh: set[str] = set()  # with leases that no clock has seen yet
 
     def apply(self, at_ms: float, command: Any) -> Applied:
-        """See fleet.part."""
+        """See badgeryoke.cluster.state_machine.part."""
         if said := command.fault():
             return Applied(error=BadCall(command.contract, said))
         if isinstance(command, Open):
@@ -1284,7 +1282,7 @@
         return made
 
     def seen(self, now: float) -> None:
-        """See fleet.part."""
+        """See badgeryoke.cluster.state_machine.part."""
         for name in self._fresh:
             if name in self.held:
                 self.held[name].parts.seen(now)
@@ -1303,7 +1301,7 @@
         }
 
     def dump(self) -> Any:
-        """See fleet.part."""
+        """See badgeryoke.cluster.state_machine.part."""
         return [
             self.last,
             [
@@ -1334,7 +1332,7 @@
         ]
 
     def load(self, raw: Any) -> None:
-        """See fleet.part."""
+        """See badgeryoke.cluster.state_machine.part."""
         self.last, self.held, self._told, self._shorts = raw[0], {}, {}, {}
         for name, tenant, version, rate, times, parts, coming, switch, answers, orders, tally in raw[1]:
             self.held[name] = Floor(
--- a/fleet/floor.py
+++ b/badgeryoke/cluster/reservations/lease_client.py
@@ -1,9 +1,10 @@
 """A gateway's side of contracts: its part of each, held under a lease, and the bucket that requests draw
 from.
 
-It asks its tenant's group for a part, in the order of `fleet.leases`: use less, give back, be granted, use
-more.  A lease counts from before it was asked for first, by this machine's monotonic clock, and ends by it,
-whatever was lost.  A window's begin and end, and the moment of another version, go by `wall`.
+It asks its tenant's group for a part, in the order of `badgeryoke.cluster.leases.lease_pool`: use less, give
+back, be granted, use more.  A lease counts from before it was asked for first, by this machine's monotonic
+clock, and ends by it, whatever was lost.  A window's begin and end, and the moment of another version, go by
+`wall`.
 
 Where the tenant's traffic comes in moves every few seconds, and within that second its rate has to be there.
 So
@@ -27,7 +28,10 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from fleet.contracts import (
+from badgeryoke.cluster.errors import BadCall, FleetError, LeaseOver, NotThere
+from badgeryoke.cluster.leases.lease_pool import EDGE, STANDBY
+from badgeryoke.cluster.messages import Id
+from badgeryoke.cluster.reservations.contract import (
     COARSE,
     EARLY_MS,
     LONGEST_WAIT_MS,
@@ -38,11 +42,8 @@
     Short,
     Used,
 )
-from fleet.errors import BadCall, FleetError, LeaseOver, NotThere
-from fleet.leases import EDGE, STANDBY
-from fleet.messages import Id
-from fleet.part import Applied, Command
-from fleet.timings import Timings
+from badgeryoke.cluster.state_machine.part import Applied, Command
+from badgeryoke.cluster.timings import Timings
 
 KNOWN_MS = 1000.0  # between two looks at what contracts there are; at 100 gateways and more 10 ms for each
 BUSY_MS = 120.0  # between two askings of one that uses or lends its part while others hold one
@@ -292,7 +293,7 @@
 
 
 class Floor:
-    """All stakes of one gateway; a `fleet.setup.Holder`.
+    """All stakes of one gateway; a `badgeryoke.cluster.node_setup.Holder`.
 
     `me`: this member; `process`: drawn at each start, so that no id and no total of a process before is
     meant.
@@ -311,7 +312,7 @@
         self.wake: Callable[[], None] = _nobody  # told when `due` has come nearer by a request
 
     def poll(self, now: float, wall: float) -> list[Command]:
-        """See fleet.setup.Holder."""
+        """See badgeryoke.cluster.node_setup.Holder."""
         self._ahead, self.due = wall - now, math.inf
         made = list(self._calls(now, wall))
         for one in made:
@@ -488,7 +489,7 @@
         return one.out
 
     def answered(self, now: float, command: Command, result: Applied | FleetError) -> None:
-        """See fleet.setup.Holder."""
+        """See badgeryoke.cluster.node_setup.Holder."""
         if self._out.get(self._line(command)) is command:
             del self._out[self._line(command)]
         error = result if isinstance(result, FleetError) else result.error
--- /dev/null
+++ b/badgeryoke/cluster/rolling_restart/__init__.py
@@ -0,0 +1,1 @@
+"""Rolling restarts of the gateways, as replicated state."""
--- a/fleet/rollout.py
+++ b/badgeryoke/cluster/rolling_restart/restart.py
@@ -21,10 +21,10 @@
 
 import msgspec
 
-from fleet.errors import BadCall, FleetError, NotThere, TakenId, WrongState
-from fleet.invariants import Invariants, Rule
-from fleet.messages import Id, name_of
-from fleet.part import Applied, Command, View
+from badgeryoke.cluster.errors import BadCall, FleetError, NotThere, TakenId, WrongState
+from badgeryoke.cluster.invariants import Invariants, Rule
+from badgeryoke.cluster.messages import Id, name_of
+from badgeryoke.cluster.state_machine.part import Applied, Command, View
 
 MOST_ROLLS = 16  # kept, the ended ones among them; the oldest ended goes first
 MOST_GATEWAYS = 1024
@@ -35,9 +35,8 @@
 NEAR_MS = 50.0  # between two readings of a gateway that is under way
 READ_MS, PER_MEMBER_MS = 100.0, 10.0  # of another during a roll: the first, and more by the size of the fleet
 IDLE_MS = 500.0  # without a roll, and longer in large fleets; the first wave waits for it
-FRESH_MS = (
-    1000.0  # a reading older than this makes nobody turn clients away or leave: it was frozen, or cut off
-)
+# a reading older than this makes nobody turn clients away or leave: it was frozen, or cut off
+FRESH_MS = 1000.0
 GRANT_MS = 50.0  # beside a reading's time: others grow before the wave's gateways turn clients away
 
 
@@ -358,7 +357,7 @@
     # What is applied.
 
     def apply(self, at_ms: float, command: Any) -> Applied:
-        """See fleet.part."""
+        """See badgeryoke.cluster.state_machine.part."""
         if said := command.fault():
             return Applied(error=BadCall("roll", said))
         if isinstance(command, RollRead):
@@ -765,10 +764,10 @@
         ]
 
     def seen(self, now: float) -> None:
-        """See fleet.part; nothing here ends by the monotonic clock."""
+        """See badgeryoke.cluster.state_machine.part; nothing here ends by the monotonic clock."""
 
     def dump(self) -> Any:
-        """See fleet.part."""
+        """See badgeryoke.cluster.state_machine.part."""
         return [
             [
                 msgspec.to_builtins(roll.ask),
@@ -786,7 +785,7 @@
         ]
 
     def load(self, raw: Any) -> None:
-        """See fleet.part."""
+        """See badgeryoke.cluster.state_machine.part."""
         self.rolls = {}
         for ask, state, since, why, changes, members, gateways in raw:
             asked = msgspec.convert(ask, RollAsk)
@@ -938,9 +937,8 @@
             )
             return
         if isinstance(self._out, RollRead) or isinstance(error, BadCall | NotThere | TakenId | WrongState):
-            self._out = (
-                None  # a reading may as well be a new one; what was refused is not said again as it was
-            )
+            # a reading may as well be a new one; what was refused is not said again as it was
+            self._out = None
             if isinstance(error, NotThere):
                 self.record = {}
         self._next = now + READ_MS
--- /dev/null
+++ b/badgeryoke/cluster/state_machine/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated state machine that committed log entries are applied to."""
--- a/fleet/state.py
+++ b/badgeryoke/cluster/state_machine/machine.py
@@ -14,15 +14,17 @@
 
 import msgspec
 
-from fleet import connections, contracts, groups, owed, promises, rollout
-from fleet.errors import BadCall, TakenId
-from fleet.invariants import Invariants, Rule
-from fleet.part import FLEET, Applied, Command, View
-from fleet.timings import Timings
-
-MOST_IDS = (
-    8192  # of calls that are remembered with their answers; the oldest goes first, and then a repeat is new
-)
+from badgeryoke.cluster import connection_limits, key_value, unreported_usage
+from badgeryoke.cluster.errors import BadCall, TakenId
+from badgeryoke.cluster.invariants import Invariants, Rule
+from badgeryoke.cluster.placement import directory
+from badgeryoke.cluster.reservations import contract
+from badgeryoke.cluster.rolling_restart import restart
+from badgeryoke.cluster.state_machine.part import FLEET, Applied, Command, View
+from badgeryoke.cluster.timings import Timings
+
+# of calls that are remembered with their answers; the oldest goes first, and then a repeat is new
+MOST_IDS = 8192
 MOST_ANSWERS = (
     8 * 1024 * 1024
 )  # bytes of their answers, a part of what a snapshot takes: the oldest goes first, too
@@ -53,15 +55,18 @@
 
 
 REGISTRY = Registry()
-REGISTRY.add("promises", promises.COMMANDS, lambda timings, rules: promises.Promises(), False)
-REGISTRY.add("placing", groups.COMMANDS, groups.Placing, True)
-REGISTRY.add("contracts", contracts.FLEET_COMMANDS, contracts.Contracts, True)
-REGISTRY.add("rolls", rollout.COMMANDS, lambda timings, rules: rollout.Rolls(rules), True)
-REGISTRY.add("floors", contracts.TENANT_COMMANDS, contracts.Floors, False)
+REGISTRY.add("promises", key_value.COMMANDS, lambda timings, rules: key_value.Promises(), False)
+REGISTRY.add("placing", directory.COMMANDS, directory.Placing, True)
+REGISTRY.add("contracts", contract.FLEET_COMMANDS, contract.Contracts, True)
+REGISTRY.add("rolls", restart.COMMANDS, lambda timings, rules: restart.Rolls(rules), True)
+REGISTRY.add("floors", contract.TENANT_COMMANDS, contract.Floors, False)
 REGISTRY.add(
-    "connections", connections.COMMANDS, lambda timings, rules: connections.Connections(rules, timings), False
+    "connections",
+    connection_limits.COMMANDS,
+    lambda timings, rules: connection_limits.Connections(rules, timings),
+    False,
 )
-REGISTRY.add("owed", owed.COMMANDS, lambda timings, rules: owed.Owed(), False)
+REGISTRY.add("owed", unreported_usage.COMMANDS, lambda timings, rules: unreported_usage.Owed(), False)
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder: Any = None
--- a/fleet/part.py
+++ b/badgeryoke/cluster/state_machine/part.py
@@ -12,9 +12,9 @@
 
 import msgspec
 
-from fleet.errors import AnyError
-from fleet.messages import Id
-from fleet.timings import Timings
+from badgeryoke.cluster.errors import AnyError
+from badgeryoke.cluster.messages import Id
+from badgeryoke.cluster.timings import Timings
 
 FLEET = "fleet"  # the one group for the whole fleet: admission, who copies what, rolls
 
@@ -22,12 +22,10 @@
 class Command(msgspec.Struct, frozen=True, tag=True, kw_only=True):
     """One entry's content.  The same `id` again is answered as the first time and changes nothing."""
 
-    reads: ClassVar[bool] = (
-        False  # changes nothing: answered by `Part.look` once the leader knows that it leads
-    )
-    once: ClassVar[bool] = (
-        True  # its id and answer are kept; not for those that state their own order (leases)
-    )
+    # changes nothing: answered by `Part.look` once the leader knows that it leads
+    reads: ClassVar[bool] = False
+    # its id and answer are kept; not for those that state their own order (leases)
+    once: ClassVar[bool] = True
 
     id: str
 
--- a/fleet/timings.py
+++ b/badgeryoke/cluster/timings.py
@@ -9,9 +9,8 @@
 class Timings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Defaults for machines of one site (some ms apart)."""
 
-    heartbeat_ms: float = (
-        100.0  # where a leader has nothing new, one falls out of two (fleet/replica.py, QUIET)
-    )
+    # where a leader has nothing new, one falls out of two (badgeryoke/cluster/raft/node.py, QUIET)
+    heartbeat_ms: float = 100.0
     election_ms: float = 600.0  # without a leader's word; drawn from once to twice this
     probe_ms: float = 500.0  # one member is probed in so long (SWIM's protocol period)
     probe_timeout_ms: float = 150.0  # before others are asked to probe for it
--- a/fleet/owed.py
+++ b/badgeryoke/cluster/unreported_usage.py
@@ -16,9 +16,9 @@
 
 import msgspec
 
-from fleet.errors import BadCall, Crowded, NotThere, WrongState
-from fleet.messages import Id
-from fleet.part import Applied, Command, View
+from badgeryoke.cluster.errors import BadCall, Crowded, NotThere, WrongState
+from badgeryoke.cluster.messages import Id
+from badgeryoke.cluster.state_machine.part import Applied, Command, View
 
 MOST_BYTES = (
     24 * 1024 * 1024
--- a/martenstep/watch/ceiling.py
+++ b/badgeryoke/decisions/counter_health/ceiling_guard.py
@@ -18,7 +18,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from martenstep.decide import Ledger
+    from badgeryoke.decisions.policy.engine import Ledger
 
 KEPT_MS = 6000.0  # own sends are remembered for this long: longer than the slowest noticing
 STEP_MS = 25.0  # sends within one are kept as one, at the time of its last: KEPT_MS / STEP_MS + 1 at most
--- a/martenstep/watch/state.py
+++ b/badgeryoke/decisions/counter_health/detector.py
@@ -19,8 +19,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from martenstep.watch import roll
-from martenstep.watch.sight import Sight
+from badgeryoke.decisions.counter_health import presence_register
+from badgeryoke.decisions.counter_health.visibility import Sight
 
 REACH = 3  # a customer's set spans no more than four gateways (the platform's brief)
 MOST_UNSEEN_MS = 10_000.0  # of time out of sight is paid back
@@ -43,7 +43,7 @@
 LOOK_MS = 1000.0  # step in which tries are counted, ...
 LOOKS_KEPT, LOOKS_NOW = 40, 12  # ... how many of them are kept, and how many are the present
 LEAST_TRIES = 20.0  # a second are needed before their number says anything
-MOST = roll.MOST_GENERATION
+MOST = presence_register.MOST_GENERATION
 
 
 class Belief(Enum):
@@ -103,7 +103,7 @@
     units: float
     life_ms: float
     group: int
-    kind: roll.Kind
+    kind: presence_register.Kind
     era: int
     beat: bool  # it adds to the own digit
     told: int = 0  # the generation that it makes known; 0: none
@@ -128,17 +128,21 @@
         self.sight = Sight(me, gateways)
         self.belief = Belief.UNKNOWN
         self.changes: list[Change] = []  # not yet fetched by take_changes
-        self.watched = roll.neighbours(me, gateways, min(REACH, gateways - 1))
-        self.group = me // roll.GROUP
-        others = sorted({number // roll.GROUP for number in self.watched} - {self.group})
+        self.watched = presence_register.neighbours(me, gateways, min(REACH, gateways - 1))
+        self.group = me // presence_register.GROUP
+        others = sorted({number // presence_register.GROUP for number in self.watched} - {self.group})
         self._turns: tuple[int, ...] = tuple(group for other in others for group in (self.group, other)) or (
             self.group,
         )
         # Beats between two of another's beats, or of my readings of it, whichever is longer.
         self._pace = {
             number: max(
-                1.0 if gateways <= roll.GROUP else 2.0,
-                float(len(self._turns) if number // roll.GROUP != self.group else min(len(self._turns), 2)),
+                1.0 if gateways <= presence_register.GROUP else 2.0,
+                float(
+                    len(self._turns)
+                    if number // presence_register.GROUP != self.group
+                    else min(len(self._turns), 2)
+                ),
             )
             for number in self.watched
         }
@@ -177,13 +181,14 @@
     def next_beat(self, now: float) -> float:
         """When to call next: beats lie on the wall clock, each gateway's at a place of its own in the beat,
         so that between two readings of one lies one beat of every other."""
-        step = roll.BEAT_MS * self._stretch
-        among = min(self.gateways, roll.GROUP)
-        phase = roll.BEAT_MS * (self.me % roll.GROUP) / among
-        at = (math.floor((now - phase) / roll.BEAT_MS) + 1) * roll.BEAT_MS + phase
-        if at - now < LEAST_GAP * roll.BEAT_MS:  # this one came early, by a timer or a clock set back
-            at += roll.BEAT_MS
-        return at if step <= roll.BEAT_MS else at + step - roll.BEAT_MS
+        step = presence_register.BEAT_MS * self._stretch
+        among = min(self.gateways, presence_register.GROUP)
+        phase = presence_register.BEAT_MS * (self.me % presence_register.GROUP) / among
+        at = (math.floor((now - phase) / presence_register.BEAT_MS) + 1) * presence_register.BEAT_MS + phase
+        # this one came early, by a timer or a clock set back
+        if at - now < LEAST_GAP * presence_register.BEAT_MS:
+            at += presence_register.BEAT_MS
+        return at if step <= presence_register.BEAT_MS else at + step - presence_register.BEAT_MS
 
     def beat(self, now: float) -> list[Call]:
         """The calls that are due now: the beat, and at most one beside it."""
@@ -200,27 +205,28 @@
             self.sight.epoch = 0
         if self._out:  # the last has no answer, which its time-out will tell
             return []
-        if now - self._beat_at < LEAST_GAP * roll.BEAT_MS:  # a clock that was set back stands still awhile
+        # a clock that was set back stands still awhile
+        if now - self._beat_at < LEAST_GAP * presence_register.BEAT_MS:
             return []
         self._beat_at = now
         group = self._turns[self._turn % len(self._turns)]
         self._turn += 1
-        era = int(now // roll.ERA_MS)
+        era = int(now // presence_register.ERA_MS)
         calls = []
         if group == self.group:
             if era != self._own_era:
                 self._closed = self._own_era != era - 1
                 self._last_own, self._own, self._own_era = self._own, 0, era
                 self._generation, self._generation_era, self._seen_generation = 0, era, 0
-            units = roll.place(self.me) if self._own < roll.TOP else 0.0
+            units = presence_register.place(self.me) if self._own < presence_register.TOP else 0.0
             told = self._to_publish()
             calls.append(
                 Call(
-                    roll.name_of(roll.Kind.ROLL, group, era),
-                    units + told * roll.GENERATION,
-                    roll.LIFE_MS,
+                    presence_register.name_of(presence_register.Kind.ROLL, group, era),
+                    units + told * presence_register.GENERATION,
+                    presence_register.LIFE_MS,
                     group,
-                    roll.Kind.ROLL,
+                    presence_register.Kind.ROLL,
                     era,
                     units > 0,
                     told,
@@ -229,11 +235,11 @@
         else:
             calls.append(
                 Call(
-                    roll.name_of(roll.Kind.ROLL, group, era),
+                    presence_register.name_of(presence_register.Kind.ROLL, group, era),
                     0.0,
-                    roll.LIFE_MS,
+                    presence_register.LIFE_MS,
                     group,
-                    roll.Kind.ROLL,
+                    presence_register.Kind.ROLL,
                     era,
                     False,
                 )
@@ -246,26 +252,26 @@
 
     def _extra(self, now: float, era: int) -> Call | None:
         """The call beside the beat: a muster to be told or read, or the last era to be closed."""
-        muster = int(now // roll.MUSTER_MS)
-        fresh = now - self.started < 2 * roll.BEAT_MS
+        muster = int(now // presence_register.MUSTER_MS)
+        fresh = now - self.started < 2 * presence_register.BEAT_MS
         if not fresh and now - self._extra_at < EXTRA_GAP_MS:
             return None
         if self._mustered[0] != muster:
             first, self._mustered[0] = self._mustered[0] < 0, muster
             if not first:
                 self._mustered[1] = muster - 1
-            return self._muster_call(muster, roll.place(self.me))
+            return self._muster_call(muster, presence_register.place(self.me))
         if self._mustered[1] != muster - 1:
             self._mustered[1] = muster - 1
             return self._muster_call(muster - 1, 0.0)
         if not self._closed and self._own_era == era:
             self._closed = True
             return Call(
-                roll.name_of(roll.Kind.ROLL, self.group, era - 1),
+                presence_register.name_of(presence_register.Kind.ROLL, self.group, era - 1),
                 0.0,
-                roll.LIFE_MS,
+                presence_register.LIFE_MS,
                 self.group,
-                roll.Kind.ROLL,
+                presence_register.Kind.ROLL,
                 era - 1,
                 False,
             )
@@ -273,11 +279,11 @@
 
     def _muster_call(self, muster: int, units: float) -> Call:
         return Call(
-            roll.name_of(roll.Kind.MUSTER, self.group, muster),
+            presence_register.name_of(presence_register.Kind.MUSTER, self.group, muster),
             units,
-            roll.LIFE_MS,
+            presence_register.LIFE_MS,
             self.group,
-            roll.Kind.MUSTER,
+            presence_register.Kind.MUSTER,
             muster,
             False,
         )
@@ -320,26 +326,26 @@
             self.judge(now)
             return
         self._stretch = 1.0
-        read = roll.digits(total)
-        if call.kind is roll.Kind.MUSTER:
-            for index, digit in enumerate(read[: roll.GROUP]):
+        read = presence_register.digits(total)
+        if call.kind is presence_register.Kind.MUSTER:
+            for index, digit in enumerate(read[: presence_register.GROUP]):
                 if digit:
-                    self._known[call.group * roll.GROUP + index] = True
+                    self._known[call.group * presence_register.GROUP + index] = True
         else:
             self._read_roll(now, call, read)
         self.judge(now)
 
     def _read_roll(self, now: float, call: Call, read: tuple[int, ...]) -> None:
-        if call.era == int(now // roll.ERA_MS):
+        if call.era == int(now // presence_register.ERA_MS):
             self._readings += 1
             self._read_at[call.group] = now
-        place = self.me % roll.GROUP
+        place = self.me % presence_register.GROUP
         if call.group == self.group:
             own = read[place]
             if call.era == self._own_era:
                 expected = self._own + call.beat
                 self._own = own
-                generation = read[roll.GROUP]
+                generation = read[presence_register.GROUP]
                 self._seen_generation = generation
                 if generation > self._generation:
                     self._generation = generation
@@ -350,8 +356,8 @@
                     self._forgot(now, call.era)
             elif call.era == self._own_era - 1 and own < self._last_own:
                 self._forgot(now, self._own_era)
-        for index, digit in enumerate(read[: roll.GROUP]):
-            number = call.group * roll.GROUP + index
+        for index, digit in enumerate(read[: presence_register.GROUP]):
+            number = call.group * presence_register.GROUP + index
             if number == self.me or number >= self.gateways or not digit:
                 continue
             self._known[number] = True
@@ -369,7 +375,7 @@
         if self._generation < MOST:
             self._generation += 1
         self.sight.renew(era * 10 + self._generation)
-        self._publish_in = 2 + self.me % roll.GROUP
+        self._publish_in = 2 + self.me % presence_register.GROUP
 
     def witness(self, now: float, good: bool, rtt_ms: float, refused: bool = False) -> None:
         """Any call of this gateway was answered, or not: customers' calls tell of the counter as well.
@@ -406,7 +412,7 @@
     # What follows from them -----------------------------------------------------------------------------
 
     def _mute(self, now: float) -> bool:
-        return self._bad >= MUTE_CALLS - (now - self._last_good > 2 * roll.BEAT_MS) and (
+        return self._bad >= MUTE_CALLS - (now - self._last_good > 2 * presence_register.BEAT_MS) and (
             now - self._last_good >= MUTE_MS
         )
 
@@ -414,12 +420,12 @@
         """For how many of its beats a known gateway has not been seen to grow; 0 where it was never there."""
         if not self._known.get(number):
             return 0.0
-        now = self._read_at.get(number // roll.GROUP, now)
+        now = self._read_at.get(number // presence_register.GROUP, now)
         moved = self._moved.get(number)
         if moved is None:
             return math.inf
-        beat = roll.BEAT_MS * self._pace[number]
-        begun = math.floor(now / roll.ERA_MS) * roll.ERA_MS
+        beat = presence_register.BEAT_MS * self._pace[number]
+        begun = math.floor(now / presence_register.ERA_MS) * presence_register.ERA_MS
         if begun - 1.5 * beat <= moved < begun and now - begun < beat:
             return 0.0  # a new era's name begins at nothing, and the other has a beat's time to come to it
         return (now - moved) / beat
@@ -439,7 +445,7 @@
             worse = SLOW_BEATS if self._slow or self._stretch > 1 else GONE_BEATS
             silent = {number: self._silent(now, number) for number in self.watched}
             doubted = frozenset(number for number in self.watched if silent[number] >= limit)
-            since_back = (now - self._muted_at) / roll.BEAT_MS
+            since_back = (now - self._muted_at) / presence_register.BEAT_MS
             gone = tuple(
                 number
                 for number in self.watched
@@ -469,7 +475,7 @@
             self._hidden_since.setdefault(number, now)
         if mute and (self._refused >= MUTE_CALLS or now - self._last_good >= STUCK_MS):
             return Sign.MUTE
-        if now - self._forgot_at < roll.BEAT_MS:
+        if now - self._forgot_at < presence_register.BEAT_MS:
             return Sign.FORGOT
         if gone:
             known = [number for number in self.watched if self._known.get(number)]
@@ -522,7 +528,10 @@
         since = now
         for number in self.watched:  # six at most, however wide the set is
             if (number - first) % self.gateways < spread and self._known.get(number):
-                since = min(since, self._moved.get(number, self.started) - self._pace[number] * roll.BEAT_MS)
+                since = min(
+                    since,
+                    self._moved.get(number, self.started) - self._pace[number] * presence_register.BEAT_MS,
+                )
         return since
 
     def take_changes(self) -> list[Change]:
--- a/martenstep/watch/bound.py
+++ b/badgeryoke/decisions/counter_health/error_bound.py
@@ -9,9 +9,9 @@
 
 from __future__ import annotations
 
-from martenstep.interface import Plan
-from martenstep.watch import roll
-from martenstep.watch.state import STALE_BEATS
+from badgeryoke.decisions.counter_health import presence_register
+from badgeryoke.decisions.counter_health.detector import STALE_BEATS
+from badgeryoke.decisions.interface import Plan
 
 CEILING_ERROR = 0.05  # of a ceiling's depth: what other gateways have sent and not yet told
 
@@ -22,8 +22,8 @@
     A digit that moved just before it is read as grown once more, and the next reading shows it standing
     still; an era's first beat may come one later.
     """
-    pace = 1.0 if gateways <= roll.GROUP else 2.0
-    return (2.0 + STALE_BEATS) * roll.BEAT_MS * pace
+    pace = 1.0 if gateways <= presence_register.GROUP else 2.0
+    return (2.0 + STALE_BEATS) * presence_register.BEAT_MS * pace
 
 
 def beyond_units(plan: Plan, spread: int, gateways: int, full: bool = False) -> float:
--- a/martenstep/watch/guarded.py
+++ b/badgeryoke/decisions/counter_health/monitored_policy.py
@@ -7,8 +7,9 @@
 
 from __future__ import annotations
 
-from martenstep.decide import Gateway
-from martenstep.interface import (
+from badgeryoke.decisions.counter_health.ceiling_guard import CeilingGuard
+from badgeryoke.decisions.counter_health.detector import Belief, Call, Change, Watch
+from badgeryoke.decisions.interface import (
     Action,
     Count,
     Due,
@@ -25,8 +26,7 @@
     Verdict,
     Wake,
 )
-from martenstep.watch.ceiling import CeilingGuard
-from martenstep.watch.state import Belief, Call, Change, Watch
+from badgeryoke.decisions.policy.engine import Gateway
 
 OWN_TOKENS = 1 << 62  # wakes of the watch; the module counts from 1
 
--- a/martenstep/watch/sight.py
+++ b/badgeryoke/decisions/counter_health/visibility.py
@@ -18,7 +18,7 @@
 from collections.abc import Callable
 from copy import copy
 
-from martenstep.books import Ledger, M
+from badgeryoke.decisions.quota_protocols import Ledger, M
 
 PROBE_MS = 1000.0  # between two calls for a customer whose part of the counter is gone
 LOST_MS, LOST_CALLS = 400.0, 2  # a customer's calls fail for so long, and so many: its name's part is gone
--- a/martenstep/interface.py
+++ b/badgeryoke/decisions/interface.py
@@ -197,9 +197,8 @@
     spread: int
     first: int = 0
     retry: bool = False
-    reserved: int = (
-        0  # drawn under a lease: the class of importance of its contract, from 1, which goes last; 0: not
-    )
+    # drawn under a lease: the class of importance of its contract, from 1, which goes last; 0: not
+    reserved: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/martenstep/plans/replan.py
+++ b/badgeryoke/decisions/plan_schedule/plan_change.py
@@ -5,9 +5,9 @@
 import math
 from copy import copy
 
-from martenstep.books import Ledger, M, Meter
-from martenstep.interface import Plan, Settings
-from martenstep.plans.carry import DEBT_MOST_MS, Held, carry
+from badgeryoke.decisions.interface import Plan, Settings
+from badgeryoke.decisions.plan_schedule.carry_over import DEBT_MOST_MS, Held, carry
+from badgeryoke.decisions.quota_protocols import Ledger, M, Meter
 
 
 def carry_meter(now: float, meter: Meter, rate: float, burst: float) -> None:
--- a/martenstep/plans/book.py
+++ b/badgeryoke/decisions/plan_schedule/schedule.py
@@ -18,7 +18,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
-from martenstep.plans.carry import Figures
+from badgeryoke.decisions.plan_schedule.carry_over import Figures
 
 LEAD_MS = 2000.0  # a change is known this long before it holds: every gateway has been told by then
 MOST_AHEAD = 8
--- a/martenstep/decide.py
+++ b/badgeryoke/decisions/policy/engine.py
@@ -1,4 +1,4 @@
-"""Every decision of a gateway.  The types it takes and gives are in martenstep/interface.py.
+"""Every decision of a gateway.  Its types are in badgeryoke/decisions/interface.py.
 
 Parts in order: quota (GCRA, counter, ceiling), servers (load, health, cold ramp), requests, and the Gateway.
 """
@@ -10,12 +10,12 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING, Literal
 
-from martenstep.interface import (
+from badgeryoke.decisions.interface import (
     Action, Cancel, Count, Due, Effect, Event, Fail, Group, Left, Members, Outcome, Plan, Refuse, Request,
     RequestClass, Scope, Send, Server, Settings, Started, State, Subscribe, Total, Verdict, Wake, Where,
 )
 if TYPE_CHECKING:
-    from martenstep.watch.sight import Sight
+    from badgeryoke.decisions.counter_health.visibility import Sight
 
 SECOND_MS = 1000.0  # quotas are told per second, the clock runs in milliseconds
 # Quota
@@ -236,7 +236,7 @@
         found.used = now
         plan = self._plans.get(found.plan.name, found.plan)
         if plan is not found.plan and not found.asked:
-            from martenstep.plans.replan import replan  # not loaded where plans do not change
+            from badgeryoke.decisions.plan_schedule.plan_change import replan  # loaded where plans change
             found.first, found.spread = request.first, max(1, min(request.spread, self._settings.gateways))
             replan(now, found, plan, self._settings)
         if self.sight and found.version != self.sight.version:
--- a/martenstep/reserved.py
+++ b/badgeryoke/decisions/priority_admission.py
@@ -21,8 +21,7 @@
 
 from __future__ import annotations
 
-from martenstep import decide
-from martenstep.interface import (
+from badgeryoke.decisions.interface import (
     Action,
     Outcome,
     Plan,
@@ -34,6 +33,7 @@
     Verdict,
     Where,
 )
+from badgeryoke.decisions.policy import engine
 
 # of what servers are held to bear may be out above that, while they are slow, of the first class; ...
 OVER = 3.0
@@ -44,12 +44,12 @@
 CEILING, LOAD, SERVER = "ceiling", "load", "server"  # why a reserved request is refused
 
 
-class Gateway(decide.Gateway):
+class Gateway(engine.Gateway):
     """A gateway's decisions where some requests are reserved."""
 
     def __init__(self, settings: Settings, seed: int) -> None:
         super().__init__(settings, seed)
-        self._aside: decide.Ledger | None = None  # the book of all reserved requests: it has no quota
+        self._aside: engine.Ledger | None = None  # the book of all reserved requests: it has no quota
         self._verdict: Verdict | None = None  # of the attempt whose end is being handled
         self._pressed: dict[
             int, float
@@ -78,7 +78,7 @@
         return super()._request(now, event)
 
     @staticmethod
-    def _lacks(now: float, led: decide.Ledger, units: float) -> float:
+    def _lacks(now: float, led: engine.Ledger, units: float) -> float:
         """By how many units a request that is not reserved would cut into what is kept."""
         if not led.told or led.head is None:
             return 0.0
@@ -91,8 +91,8 @@
             raise ValueError(f"class {event.cls!r} is not among the settings")
         led = self._quota.ledger(now, event)
         if self._aside is None:
-            self._aside = decide.Ledger(Plan("reserved"), event, self._settings, now, now)
-        job = self._jobs[event.id] = decide.Job(event, cls, self._aside, now, self._settings.max_attempts)
+            self._aside = engine.Ledger(Plan("reserved"), event, self._settings, now, now)
+        job = self._jobs[event.id] = engine.Job(event, cls, self._aside, now, self._settings.max_attempts)
         if led.plan.rate <= 0 or led.head is None:
             return self._send(now, job)
         if len(self._pressed) >= MOST_PRESSED:
@@ -107,21 +107,21 @@
         sight, timeout = self._quota.sight, self._settings.counter_timeout_ms
         if (
             self._settings.has_counter
-            and event.remaining_ms > decide.HOLD_TIMES * timeout
+            and event.remaining_ms > engine.HOLD_TIMES * timeout
             and not (sight and sight.hushed(now, led))
         ):
             led.waiting[event.id] = event.units
             return self._quota.ask(now, led)
         return self._unconfirmed(now, job)
 
-    def _under(self, now: float, job: decide.Job, meter: decide.Meter) -> list[Action]:
+    def _under(self, now: float, job: engine.Job, meter: engine.Meter) -> list[Action]:
         """Send, and charge what proves that the ceiling holds."""
         actions = self._send(now, job)
         if job.attempts:
             meter.take(job.request.units, now)
         return actions
 
-    def _unconfirmed(self, now: float, job: decide.Job, spare: bool = False) -> list[Action]:
+    def _unconfirmed(self, now: float, job: engine.Job, spare: bool = False) -> list[Action]:
         request = job.request
         if not request.reserved:
             led = job.ledger
@@ -143,13 +143,13 @@
                 return self._under(now, job, led.quota)
         return self._refuse(now, job, led.quota.per_unit)
 
-    def _refuse(self, now: float, job: decide.Job, wait: float) -> list[Action]:
+    def _refuse(self, now: float, job: engine.Job, wait: float) -> list[Action]:
         if not job.request.reserved:
             return super()._refuse(now, job, wait)
         self._drop(job.request.id)
         return [Refuse(job.request.id, max(wait, 1.0), CEILING)]
 
-    def _give_up(self, now: float, job: decide.Job) -> list[Action]:
+    def _give_up(self, now: float, job: engine.Job) -> list[Action]:
         actions = super()._give_up(now, job)
         if job.request.reserved:
             cause = LOAD if self._verdict in (None, Verdict.FULL) else SERVER
@@ -159,7 +159,7 @@
             ]
         return actions
 
-    def _choose(self, now: float, job: decide.Job, allowed: Where) -> Server | None:
+    def _choose(self, now: float, job: engine.Job, allowed: Where) -> Server | None:
         rank, fleet = job.request.reserved, self._fleet
         if not rank:
             kept = not job.attempts and self._presses(now, job.request.customer)
--- a/martenstep/books.py
+++ b/badgeryoke/decisions/quota_protocols.py
@@ -8,7 +8,7 @@
 
 from typing import Protocol, Self, TypeVar
 
-from martenstep.interface import Plan, Settings
+from badgeryoke.decisions.interface import Plan, Settings
 
 
 class Meter(Protocol):
--- a/martenstep/settings.py
+++ b/badgeryoke/decisions/settings_parser.py
@@ -9,7 +9,7 @@
 
 from typing import Any, TypeVar
 
-from martenstep import interface as api
+from badgeryoke.decisions import interface as api
 
 T = TypeVar("T")
 EFFECTS = {"idempotent": api.Effect.SAFE, "deduplicated": api.Effect.KEYED, "at_most_once": api.Effect.UNSAFE}
--- a/martenstep/wirehost.py
+++ b/badgeryoke/decisions/simulator_adapter.py
@@ -11,9 +11,9 @@
 from collections.abc import Callable, Iterator
 from typing import Any, NoReturn, TextIO
 
-from martenstep import interface as api
-from martenstep.decide import Gateway
-from martenstep.settings import settings_from
+from badgeryoke.decisions import interface as api
+from badgeryoke.decisions.policy.engine import Gateway
+from badgeryoke.decisions.settings_parser import settings_from
 
 VERDICTS = {
     "Ok": api.Verdict.OK,
@@ -308,7 +308,7 @@
     try:
         serve(sys.stdin, sys.stdout)
     except WireError as error:
-        print(f"martenstep: {error}", file=sys.stderr)
+        print(f"badgeryoke: {error}", file=sys.stderr)
         sys.exit(2)
     sys.exit(0)
 
--- a/martenstep/handover.py
+++ b/badgeryoke/decisions/state_snapshot.py
@@ -12,8 +12,8 @@
 
 import msgspec
 
-from martenstep.decide import FLUSH_SHARE, Gateway, Ledger, Peer
-from martenstep.interface import Action, Request
+from badgeryoke.decisions.interface import Action, Request
+from badgeryoke.decisions.policy.engine import FLUSH_SHARE, Gateway, Ledger, Peer
 
 VERSION = 2
 MOST_LEDGERS = 20_000  # the last used; the others begin as after a crash
--- /dev/null
+++ b/badgeryoke/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The real gateway: sockets, files and processes around the decisions."""
--- a/badgeryoke/actor.py
+++ b/badgeryoke/gateway/actor.py
@@ -13,7 +13,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 READ_CHUNK = 65536
-log = logging.getLogger("badgeryoke")
+log = logging.getLogger(__name__)
 
 
 class Loop(Protocol):
--- a/badgeryoke/management/render.py
+++ b/badgeryoke/gateway/admin/rendering.py
@@ -8,7 +8,7 @@
 
 from dataclasses import dataclass
 
-from badgeryoke.figures import Figures
+from badgeryoke.gateway.metrics import Figures
 
 RESULTS = ("completed", "rejected", "failed")  # in the order of the counts
 ESCAPES = str.maketrans({"\\": r"\\", '"': r"\"", "\n": r"\n", "\r": r"\r"})
--- a/badgeryoke/gateway.py
+++ b/badgeryoke/gateway/application.py
@@ -16,30 +16,30 @@
 
 from tornado.netutil import bind_sockets
 
-from badgeryoke.actor import Turns, WallClock
-from badgeryoke.config import Config, ConfigError, lacking
-from badgeryoke.core import Core
-from badgeryoke.counter import CounterLink
-from badgeryoke.diameter.client_link import DiameterFront
-from badgeryoke.diameter.peer import Identity
-from badgeryoke.diameter.server_link import DiameterServerLink
-from badgeryoke.drain import Drain, Effect, Event
-from badgeryoke.drain import State as Standing
-from badgeryoke.host_group import Host, HostGroup
-from badgeryoke.operators import NAME
-from badgeryoke.relay import Room
-from badgeryoke.resp.front import BACKLOG, RespFront
-from badgeryoke.resp.server_link import RespServerLink
-from martenstep.interface import Members, State, Total, Verdict
+from badgeryoke.decisions.interface import Members, State, Total, Verdict
+from badgeryoke.gateway.actor import Turns, WallClock
+from badgeryoke.gateway.config.operators_file import NAME
+from badgeryoke.gateway.config.platform_file import Config, ConfigError, lacking
+from badgeryoke.gateway.diameter.client_connection import DiameterFront
+from badgeryoke.gateway.diameter.peer import Identity
+from badgeryoke.gateway.diameter.upstream_connection import DiameterServerLink
+from badgeryoke.gateway.discovery.client import Host, HostGroup
+from badgeryoke.gateway.dispatcher import Core
+from badgeryoke.gateway.graceful_shutdown import Drain, Effect, Event
+from badgeryoke.gateway.graceful_shutdown import State as Standing
+from badgeryoke.gateway.quota_counter.client import CounterLink
+from badgeryoke.gateway.resp.listener import BACKLOG, RespFront
+from badgeryoke.gateway.resp.upstream_connection import RespServerLink
+from badgeryoke.gateway.response_stream import Room
 
 if TYPE_CHECKING:
-    from badgeryoke.fleet.pools import Pools
-    from badgeryoke.fleet.service import Service
-    from badgeryoke.handover.link import Giver
-    from badgeryoke.management.front import ManagementFront
-    from martenstep.handover import Handed
+    from badgeryoke.decisions.state_snapshot import Handed
+    from badgeryoke.gateway.admin.server import ManagementFront
+    from badgeryoke.gateway.cluster.connection_leases import Pools
+    from badgeryoke.gateway.cluster.service import Service
+    from badgeryoke.gateway.hot_restart.transfer import Giver
 
-log = logging.getLogger("badgeryoke")
+log = logging.getLogger(__name__)
 
 CLIENT_PART, SERVER_PART, DIAMETER_PART = 0.5, 0.3, 0.1  # of the descriptors, for each kind of link
 CROWD_PART = 0.2  # of the descriptors, from which on idle clients are closed sooner (resp/front.py)
@@ -164,8 +164,8 @@
     def start(self) -> None:
         """Listen, connect and watch."""
         if self._config.operators.fleet is not None:
-            from badgeryoke.fleet.pools import Pools  # not loaded where no fleet is
-            from badgeryoke.fleet.service import Service
+            from badgeryoke.gateway.cluster.connection_leases import Pools  # not loaded where no fleet is
+            from badgeryoke.gateway.cluster.service import Service
 
             self.fleet = Service(self._config.operators.fleet, self._config.name)
             # A connection is used as long as the longest request on it, and then rests.
@@ -183,7 +183,9 @@
             self._counter.open()
         self._hosts.start()
         if self._config.mgmt is not None:
-            from badgeryoke.management.front import ManagementFront  # not loaded where nothing is asked for
+            from badgeryoke.gateway.admin.server import (
+                ManagementFront,  # not loaded where nothing is asked for
+            )
 
             self._management = ManagementFront(self)
             host, port = self._config.mgmt
@@ -219,10 +221,10 @@
 
     async def _succeed(self, folder: str) -> None:
         """Take the state of the process that serves, if one does, then serve in its place."""
-        from badgeryoke.handover import link  # not loaded where no process is replaced
+        from badgeryoke.gateway.hot_restart import transfer  # not loaded where no process is replaced
 
-        path = link.address(folder, self._config.name)
-        taker = link.Taker(path)
+        path = transfer.address(folder, self._config.name)
+        taker = transfer.Taker(path)
         until = self._loop.time() + LIST_S  # its servers are known by discovery's names
         while not self._hosts.heard and self._loop.time() < until:
             await asyncio.sleep(0.01)
@@ -235,7 +237,7 @@
         if self._drain.ending:
             return
         self._listen()
-        self._giver = link.Giver(path, self)
+        self._giver = transfer.Giver(path, self)
         await self._giver.listen()
         await taker.serving(lambda: self._front.share(1.0))
 
@@ -410,7 +412,7 @@
 
     def metrics(self) -> str:
         """The figures, one a line."""
-        from badgeryoke.management.render import Gauges, render
+        from badgeryoke.gateway.admin.rendering import Gauges, render
 
         return render(self.core.figures, Gauges(self.core.unanswered, len(self._links), self.core.avoided))
 
@@ -420,7 +422,7 @@
         return self.fleet is not None
 
     async def fleet_call(self, call: bytes) -> bytes:
-        """One call for the fleet, JSON in and out (badgeryoke.fleet.calls)."""
+        """One call for the fleet, JSON in and out (badgeryoke.gateway.cluster.admin_calls)."""
         if self.fleet is None:
             return b"-ERR fleet is off: [fleet] in deploy/badgeryoke.toml switches it on\n"
         return await self.fleet.answer(call)
--- a/badgeryoke/execution.py
+++ b/badgeryoke/gateway/attempt.py
@@ -8,8 +8,8 @@
 from enum import Enum
 from typing import Protocol
 
-from badgeryoke.relay import Relay
-from martenstep.interface import Verdict
+from badgeryoke.decisions.interface import Verdict
+from badgeryoke.gateway.response_stream import Relay
 
 
 class Stage(Enum):
--- a/badgeryoke/fleet/calls.py
+++ b/badgeryoke/gateway/cluster/admin_calls.py
@@ -15,9 +15,9 @@
 
 import msgspec
 
-from fleet.errors import BadCall, FleetError
-from fleet.part import Applied, Command
-from fleet.state import REGISTRY
+from badgeryoke.cluster.errors import BadCall, FleetError
+from badgeryoke.cluster.state_machine.machine import REGISTRY
+from badgeryoke.cluster.state_machine.part import Applied, Command
 
 MOST_CALL = 64 * 1024  # bytes of a line
 MOST_ID = 128
--- a/badgeryoke/fleet/pools.py
+++ b/badgeryoke/gateway/cluster/connection_leases.py
@@ -20,16 +20,16 @@
 
 from tornado.iostream import IOStream
 
-from badgeryoke.actor import READ_CHUNK, Turns, new_socket
-from badgeryoke.fleet.settings import Fleet
-from fleet.connections import CLOSING_MS, Keeper, Limit, Unlimit, process
-from fleet.errors import FleetError
-from fleet.invariants import Invariants
-from fleet.node import Node
-from fleet.part import FLEET, Applied, Command
-from fleet.rollout import Duty, Rolled
+from badgeryoke.cluster.connection_limits import CLOSING_MS, Keeper, Limit, Unlimit, process
+from badgeryoke.cluster.errors import FleetError
+from badgeryoke.cluster.invariants import Invariants
+from badgeryoke.cluster.node import Node
+from badgeryoke.cluster.rolling_restart.restart import Duty, Rolled
+from badgeryoke.cluster.state_machine.part import FLEET, Applied, Command
+from badgeryoke.gateway.actor import READ_CHUNK, Turns, new_socket
+from badgeryoke.gateway.cluster.settings import Fleet
 
-log = logging.getLogger("badgeryoke.fleet.pools")
+log = logging.getLogger(__name__)
 
 LOOK_S = 0.05  # between two looks at what has to be closed, and at what a roll wants
 SIFT_MS = 5000.0  # between two looks for limits that nobody needs any more
@@ -105,7 +105,7 @@
         return keeper is not None and not self.gone and keeper.may_open(self._pools.now(), self.server)
 
     def dial(self, address: tuple[str, int], most_buffered: int) -> tuple[IOStream, asyncio.Future[IOStream]]:
-        """As `badgeryoke.actor.dial`, where `may_open` was true."""
+        """As `badgeryoke.gateway.actor.dial`, where `may_open` was true."""
         assert self._pools.keeper is not None
         made = new_socket(address)
         stream: IOStream = LeasedStream(made, most_buffered, self)
--- a/badgeryoke/fleet/service.py
+++ b/badgeryoke/gateway/cluster/service.py
@@ -21,13 +21,15 @@
 
 from tornado.netutil import bind_sockets
 
-from badgeryoke.fleet.calls import STATUS, line_of, read_call
-from badgeryoke.fleet.links import Links
-from badgeryoke.fleet.settings import Fleet
-from badgeryoke.fleet.store import HELD, Disk, StoreWriter, open_store
-from badgeryoke.host_group import split_address
-from fleet.errors import Crowded, FleetError, InvariantBroken, NoLeader, StoreFailed, UnknownOutcome
-from fleet.events import (
+from badgeryoke.cluster.errors import (
+    Crowded,
+    FleetError,
+    InvariantBroken,
+    NoLeader,
+    StoreFailed,
+    UnknownOutcome,
+)
+from badgeryoke.cluster.events import (
     Call,
     Done,
     Effect,
@@ -44,17 +46,22 @@
     Stored,
     Tick,
 )
-from fleet.floor import Floor
-from fleet.groups import forced
-from fleet.invariants import Invariants, Rule
-from fleet.messages import AnyMessage, Id
-from fleet.node import ANY, Member, Node, Setup
-from fleet.part import Applied, Command
+from badgeryoke.cluster.invariants import Invariants, Rule
+from badgeryoke.cluster.messages import AnyMessage, Id
+from badgeryoke.cluster.node import ANY, Member, Node, Setup
+from badgeryoke.cluster.placement.directory import forced
+from badgeryoke.cluster.reservations.lease_client import Floor
+from badgeryoke.cluster.state_machine.part import Applied, Command
+from badgeryoke.gateway.cluster.admin_calls import STATUS, line_of, read_call
+from badgeryoke.gateway.cluster.settings import Fleet
+from badgeryoke.gateway.cluster.storage import HELD, Disk, StoreWriter, open_store
+from badgeryoke.gateway.cluster.transport import Links
+from badgeryoke.gateway.discovery.client import split_address
 
 if TYPE_CHECKING:
-    from badgeryoke.fleet.pools import Pools
+    from badgeryoke.gateway.cluster.connection_leases import Pools
 
-log = logging.getLogger("badgeryoke.fleet")
+log = logging.getLogger(__name__)
 
 MOST_CALLS = 1024  # under way at this member; more are refused
 AGAIN_S = 0.2  # between tries for a folder or an address that a process before still holds
@@ -115,9 +122,8 @@
         self._now = self.now = now
         self.pools: Pools | None = None  # where the gateway has given its server links
         self.floor: Floor | None = None  # this gateway's parts of contracts, from when the node is made
-        self.on_floor: Callable[[Floor, Callable[[], float]], None] | None = (
-            None  # told of it, and of its clock
-        )
+        # told of it, and of its clock
+        self.on_floor: Callable[[Floor, Callable[[], float]], None] | None = None
         self._wall_less_now = unix() * 1000.0 - now()
         self._loop = asyncio.get_running_loop()
         self.rules = Invariants(strict=False, noted=self._noted)
--- a/badgeryoke/fleet/settings.py
+++ b/badgeryoke/gateway/cluster/settings.py
@@ -9,10 +9,10 @@
 
 import msgspec
 
-from badgeryoke.host_group import split_address
-from badgeryoke.operators import unknown, wrong
-from fleet.timings import Timings
-from fleet.timings import faults as timing_faults
+from badgeryoke.cluster.timings import Timings
+from badgeryoke.cluster.timings import faults as timing_faults
+from badgeryoke.gateway.config.operators_file import unknown, wrong
+from badgeryoke.gateway.discovery.client import split_address
 
 MOST_MEMBERS, MOST_GROUPS, MOST_CONNECTIONS = 256, 256, 65_535
 COPIES = (3, 5, 1)  # 1: to try it out; a promise then outlives no machine
--- a/badgeryoke/fleet/store.py
+++ b/badgeryoke/gateway/cluster/storage.py
@@ -33,11 +33,11 @@
 
 import msgspec
 
-from fleet.errors import AnotherFleet, FleetError, StoreDamaged, StoreFailed
-from fleet.events import Entries, Forget, HardState, Record, Saved, Snapshot, Store, Stored
-from fleet.messages import Config, Entry
+from badgeryoke.cluster.errors import AnotherFleet, FleetError, StoreDamaged, StoreFailed
+from badgeryoke.cluster.events import Entries, Forget, HardState, Record, Saved, Snapshot, Store, Stored
+from badgeryoke.cluster.messages import Config, Entry
 
-log = logging.getLogger("badgeryoke.fleet")
+log = logging.getLogger(__name__)
 
 FORMAT = 1
 NAME, TOLD, LOCK, NEW = f"store-{FORMAT}.db", "told", "lock", "new.db"
--- a/badgeryoke/fleet/links.py
+++ b/badgeryoke/gateway/cluster/transport.py
@@ -31,9 +31,8 @@
 import msgspec
 from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
 
-from badgeryoke.actor import dial
-from fleet.errors import AnotherFleet, BadFrame, FleetError, StaleIncarnation
-from fleet.messages import (
+from badgeryoke.cluster.errors import AnotherFleet, BadFrame, FleetError, StaleIncarnation
+from badgeryoke.cluster.messages import (
     VERSION,
     Ack,
     AnyMessage,
@@ -47,8 +46,9 @@
     Vote,
     name_of,
 )
+from badgeryoke.gateway.actor import dial
 
-log = logging.getLogger("badgeryoke.fleet")
+log = logging.getLogger(__name__)
 
 MOST_FRAME = 1024 * 1024 + 64 * 1024  # bytes: a full batch of entries, or a piece of a snapshot and its frame
 HEAD = 1024  # bytes of an envelope beside its messages, at the most
--- /dev/null
+++ b/badgeryoke/gateway/config/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration files: reading, validation and defaults."""
--- a/badgeryoke/operators.py
+++ b/badgeryoke/gateway/config/operators_file.py
@@ -43,7 +43,8 @@
 
     counter_watch: CounterWatch = CounterWatch()
     log: Log = Log()
-    fleet: Any = None  # badgeryoke.fleet.settings.Fleet where it is switched on; loaded with it alone
+    # badgeryoke.gateway.cluster.settings.Fleet where it is switched on; loaded with it alone
+    fleet: Any = None
 
 
 def unknown(raw: dict[str, Any], kind: type[msgspec.Struct], path: str) -> list[str]:
@@ -103,7 +104,7 @@
     if not isinstance(section, dict):
         faults.append(f"fleet: expected a table, got {section!r}")
     elif section.get("enabled", False) is not False or (all_sections and set(section) > {"enabled"}):
-        from badgeryoke.fleet.settings import read_fleet
+        from badgeryoke.gateway.cluster.settings import read_fleet
 
         fleet, found = read_fleet(section)
         faults += found
--- a/badgeryoke/config.py
+++ b/badgeryoke/gateway/config/platform_file.py
@@ -14,12 +14,12 @@
 
 import ujson
 
-from badgeryoke.host_group import Roster, read_roster, split_address
-from badgeryoke.operators import NAME, Operators, OperatorsError, read_operators
-from martenstep.interface import Effect, Settings
-from martenstep.settings import Reader, settings_from, unknown
+from badgeryoke.decisions.interface import Effect, Settings
+from badgeryoke.decisions.settings_parser import Reader, settings_from, unknown
+from badgeryoke.gateway.config.operators_file import NAME, Operators, OperatorsError, read_operators
+from badgeryoke.gateway.discovery.client import Roster, read_roster, split_address
 
-log = logging.getLogger("badgeryoke.config")
+log = logging.getLogger(__name__)
 
 Address = tuple[str, int]
 MOST_CONFIG = 16 * 1024 * 1024
@@ -73,9 +73,8 @@
     deadline_ms: float  # how long a client waits for a CCA (its Tx timer); 0: the class's deadline
     watchdog_s: float
     answers_kept_s: float
-    check_class: str | None = (
-        None  # of a CHECK_BALANCE; None: the first of the settings that is safe to repeat
-    )
+    # of a CHECK_BALANCE; None: the first of the settings that is safe to repeat
+    check_class: str | None = None
     debit_class: str | None = None  # of a DIRECT_DEBITING; None: the first that takes a key
 
 
--- a/badgeryoke/diameter/client_link.py
+++ b/badgeryoke/gateway/diameter/client_connection.py
@@ -10,18 +10,18 @@
 from tornado.iostream import IOStream
 from tornado.tcpserver import TCPServer
 
-from badgeryoke.actor import Actor, Turns
-from badgeryoke.config import DiameterConfig
-from badgeryoke.core import Answer, Core, Failed, Refused, Served
-from badgeryoke.diameter import codec
-from badgeryoke.diameter.codec import Avp, Code, Fault, Message, Result
-from badgeryoke.diameter.peer import Identity, Peer
-from badgeryoke.diameter.repeats import Entry, Repeats
-from badgeryoke.diameter.repeats import Identity as RequestIdentity
-from badgeryoke.execution import Query, customer_number
-from martenstep.interface import Effect, Settings
-
-log = logging.getLogger("badgeryoke.diameter.client")
+from badgeryoke.decisions.interface import Effect, Settings
+from badgeryoke.gateway.actor import Actor, Turns
+from badgeryoke.gateway.attempt import Query, customer_number
+from badgeryoke.gateway.config.platform_file import DiameterConfig
+from badgeryoke.gateway.diameter import codec
+from badgeryoke.gateway.diameter.codec import Avp, Code, Fault, Message, Result
+from badgeryoke.gateway.diameter.duplicate_requests import Entry, Repeats
+from badgeryoke.gateway.diameter.duplicate_requests import Identity as RequestIdentity
+from badgeryoke.gateway.diameter.peer import Identity, Peer
+from badgeryoke.gateway.dispatcher import Answer, Core, Failed, Refused, Served
+
+log = logging.getLogger(__name__)
 
 FULL_RETRY_MS = 1000.0  # advice where no further request can be remembered, or taken on a connection
 MOST_OUT = 1024  # requests of one connection that wait for their answers
--- a/badgeryoke/diameter/repeats.py
+++ b/badgeryoke/gateway/diameter/duplicate_requests.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from badgeryoke.core import Answer, Served
+from badgeryoke.gateway.dispatcher import Answer, Served
 
 # What is remembered at most; where none of it may be forgotten yet, new requests are refused.
 MOST = 50_000
--- a/badgeryoke/diameter/peer.py
+++ b/badgeryoke/gateway/diameter/peer.py
@@ -9,11 +9,11 @@
 
 from tornado.iostream import IOStream, StreamClosedError
 
-from badgeryoke.actor import Actor, Turns, on_close, pump
-from badgeryoke.diameter import codec
-from badgeryoke.diameter.codec import Avp, Code, Command, Fault, Message, Result
+from badgeryoke.gateway.actor import Actor, Turns, on_close, pump
+from badgeryoke.gateway.diameter import codec
+from badgeryoke.gateway.diameter.codec import Avp, Code, Command, Fault, Message, Result
 
-log = logging.getLogger("badgeryoke.diameter")
+log = logging.getLogger(__name__)
 
 EXCHANGE_S = 5.0  # for the capabilities exchange, and for the answer to a DPR
 WATCHDOG_JITTER_S = 2.0  # RFC 3539
--- a/badgeryoke/diameter/server_link.py
+++ b/badgeryoke/gateway/diameter/upstream_connection.py
@@ -10,16 +10,16 @@
 
 from tornado.iostream import IOStream, StreamClosedError
 
-from badgeryoke.actor import Actor, Turns, dial
-from badgeryoke.diameter import codec
-from badgeryoke.diameter.codec import Avp, Code, Command, Fault, Message, Result
-from badgeryoke.diameter.peer import Identity, Peer, State
-from badgeryoke.execution import Execution, Query
+from badgeryoke.gateway.actor import Actor, Turns, dial
+from badgeryoke.gateway.attempt import Execution, Query
+from badgeryoke.gateway.diameter import codec
+from badgeryoke.gateway.diameter.codec import Avp, Code, Command, Fault, Message, Result
+from badgeryoke.gateway.diameter.peer import Identity, Peer, State
 
 if TYPE_CHECKING:
-    from badgeryoke.fleet.pools import Lease
+    from badgeryoke.gateway.cluster.connection_leases import Lease
 
-log = logging.getLogger("badgeryoke.diameter.server")
+log = logging.getLogger(__name__)
 
 SERVICE_CONTEXT = "load@badgeryoke"
 IDLE_PART = 0.5  # of the settings' idle time a connection is kept
@@ -286,11 +286,11 @@
 
     @property
     def need(self) -> int:
-        """See badgeryoke.fleet.pools.Link."""
+        """See badgeryoke.gateway.cluster.connection_leases.Link."""
         return int(bool(self._waiting) or (self._connection is not None and bool(self._connection.out)))
 
     def shrink(self, many: int, all_: bool) -> None:
-        """See badgeryoke.fleet.pools.Link."""
+        """See badgeryoke.gateway.cluster.connection_leases.Link."""
         self.post(self._shrink, all_)
 
     def _shrink(self, all_: bool) -> None:
@@ -299,7 +299,7 @@
             connection.stream.close()
 
     def grown(self) -> None:
-        """See badgeryoke.fleet.pools.Link."""
+        """See badgeryoke.gateway.cluster.connection_leases.Link."""
         self.post(self._grown)
 
     def _grown(self) -> None:
--- a/badgeryoke/host_group.py
+++ b/badgeryoke/gateway/discovery/client.py
@@ -22,10 +22,10 @@
 import ujson
 from tornado.iostream import IOStream, StreamClosedError
 
-from badgeryoke.actor import READ_CHUNK, Actor, Turns, dial
-from martenstep.interface import Members, Scope, Server, State
+from badgeryoke.decisions.interface import Members, Scope, Server, State
+from badgeryoke.gateway.actor import READ_CHUNK, Actor, Turns, dial
 
-log = logging.getLogger("badgeryoke.host_group")
+log = logging.getLogger(__name__)
 T = TypeVar("T")
 
 PATH = "/api/targets"
@@ -58,9 +58,8 @@
 SOON_S = 0.6  # at the most, where the first call behind silence is refused: 4.05 s of the clock's 6 are gone
 SHORT_TRIES = 2
 MAX_HEAD, MAX_BODY = 16 * 1024, 4 * 1024 * 1024
-MOST_NUMBER = (
-    1e15  # of any figure: whole ones are exact up to there, and a JSON number has no bound of its own
-)
+# of any figure: whole ones are exact up to there, and a JSON number has no bound of its own
+MOST_NUMBER = 1e15
 MAX_READ = (
     2 * MAX_BODY
 )  # with the sizes of chunks and what follows the last: no read waits where more lies ready
--- a/badgeryoke/core.py
+++ b/badgeryoke/gateway/dispatcher.py
@@ -13,20 +13,20 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
-from badgeryoke.actor import Actor, Turns
-from badgeryoke.execution import End, Execution, Query, ServerLink
-from badgeryoke.figures import COMPLETED, FAILED, REJECTED, Figures
-from badgeryoke.relay import Relay
-from martenstep import interface as api
-from martenstep.decide import Gateway
+from badgeryoke.decisions import interface as api
+from badgeryoke.decisions.policy.engine import Gateway
+from badgeryoke.gateway.actor import Actor, Turns
+from badgeryoke.gateway.attempt import End, Execution, Query, ServerLink
+from badgeryoke.gateway.metrics import COMPLETED, FAILED, REJECTED, Figures
+from badgeryoke.gateway.response_stream import Relay
 
 if TYPE_CHECKING:
-    from badgeryoke.guarantee import Floor, Guarantee
-    from fleet.floor import Reserved
-    from martenstep.handover import Handed
-    from martenstep.watch.guarded import Guarded
+    from badgeryoke.cluster.reservations.lease_client import Reserved
+    from badgeryoke.decisions.counter_health.monitored_policy import Guarded
+    from badgeryoke.decisions.state_snapshot import Handed
+    from badgeryoke.gateway.reserved_admission import Floor, Guarantee
 
-log = logging.getLogger("badgeryoke.core")
+log = logging.getLogger(__name__)
 
 # An answer is given so much before the client gives up: it has to get there, and the loop may be busy.
 GUARD_MS = 15.0
@@ -116,7 +116,7 @@
         "timer",
         "window_ms",
     )
-    cause: str  # badgeryoke.guarantee sets it with `reserved`
+    cause: str  # badgeryoke.gateway.reserved_admission sets it with `reserved`
 
     def __init__(
         self,
@@ -163,11 +163,15 @@
         super().__init__(loop)
         make = Gateway
         if reserves:
-            from martenstep.reserved import Gateway as make  # not loaded where nothing is reserved
+            from badgeryoke.decisions.priority_admission import (
+                Gateway as make,  # not loaded where nothing is reserved
+            )
         self._module: Module = make(settings, seed)
         self._watched: Guarded | None = None
         if watch:
-            from martenstep.watch.guarded import Guarded  # not loaded where it is off
+            from badgeryoke.decisions.counter_health.monitored_policy import (
+                Guarded,  # not loaded where it is off
+            )
 
             self._module = self._watched = Guarded(settings, seed, make)
         self._guarantee: Guarantee | None = None
@@ -184,7 +188,7 @@
 
     def guarantee(self, floor: Floor, now: Callable[[], float]) -> None:
         """Ask a gateway's contracts before the module; they go by a clock of their own, ms."""
-        from badgeryoke.guarantee import Guarantee
+        from badgeryoke.gateway.reserved_admission import Guarantee
 
         self._guarantee = Guarantee(floor, now, self._loop, lambda run: self.post(self._turn, run))
 
@@ -261,29 +265,29 @@
 
     def give(self, names: dict[int, str]) -> Handed | str:
         """What a successor needs, or why it gets nothing."""
-        from martenstep import handover  # not loaded where no process is replaced
+        from badgeryoke.decisions import state_snapshot  # not loaded where no process is replaced
 
         if not isinstance(self._module, Gateway):
             return "the counter is watched, and what the watch knows is not handed over"
-        return handover.give(self._module, names)
+        return state_snapshot.give(self._module, names)
 
     def given(self, handed: Handed) -> None:
         """The successor serves by it."""
-        from martenstep import handover
+        from badgeryoke.decisions import state_snapshot
 
         if isinstance(self._module, Gateway):
-            handover.given(self._module, handed)
+            state_snapshot.given(self._module, handed)
 
     def take(self, handed: Handed, numbers: dict[str, int]) -> None:
         """Go on from what the old process handed over, behind the list of servers that has come."""
         self.post(self._take_over, handed, numbers)
 
     def _take_over(self, handed: Handed, numbers: dict[str, int]) -> None:
-        from martenstep import handover
+        from badgeryoke.decisions import state_snapshot
 
         now = self._clock()
         if isinstance(self._module, Gateway):
-            for action in handover.take(self._module, now, handed, numbers):
+            for action in state_snapshot.take(self._module, now, handed, numbers):
                 self._act(now, action)
 
     def members(self, event: api.Members) -> None:
--- a/badgeryoke/handover/link.py
+++ b/badgeryoke/gateway/hot_restart/transfer.py
@@ -14,9 +14,9 @@
 from pathlib import Path
 from typing import Protocol
 
-from martenstep import handover
+from badgeryoke.decisions import state_snapshot
 
-log = logging.getLogger("badgeryoke.handover")
+log = logging.getLogger(__name__)
 
 STEP_S = 1.5  # for each step of the other side; the new process has 6 s for all
 MOST_PATH = 100  # bytes of a Unix socket's address, less than what the system takes
@@ -25,10 +25,10 @@
 class Predecessor(Protocol):
     """What the listening side needs of its gateway."""
 
-    def give(self) -> handover.Handed | str:
+    def give(self) -> state_snapshot.Handed | str:
         """The state, or why it is not given."""
 
-    def succeeded(self, handed: handover.Handed) -> None:
+    def succeeded(self, handed: state_snapshot.Handed) -> None:
         """The other process serves."""
 
 
@@ -89,14 +89,14 @@
 
     async def _converse(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
         line = await asyncio.wait_for(reader.readuntil(b"\n"), STEP_S)
-        if line != b"TAKE %d\n" % handover.VERSION:
-            writer.write(b"ERR this process hands over version %d\n" % handover.VERSION)
+        if line != b"TAKE %d\n" % state_snapshot.VERSION:
+            writer.write(b"ERR this process hands over version %d\n" % state_snapshot.VERSION)
             return False
         handed = self._gateway.give()
         if isinstance(handed, str):
             writer.write(b"ERR %b\n" % handed.encode())
             return False
-        writer.write(handover.encode(handed))
+        writer.write(state_snapshot.encode(handed))
         line = await asyncio.wait_for(reader.readuntil(b"\n"), STEP_S)
         if line != b"SERVING\n":
             raise ValueError(f"said {line[:40]!r}")
@@ -120,16 +120,16 @@
         self._path = path
         self._writer: asyncio.StreamWriter | None = None
 
-    async def ask(self) -> handover.Handed | None:
+    async def ask(self) -> state_snapshot.Handed | None:
         """The state, or None where there is none to be had; logs why, unless nobody was there before."""
         try:
             with _short(self._path) as short:
                 reader, writer = await asyncio.wait_for(asyncio.open_unix_connection(short), STEP_S)
             self._reader, self._writer = reader, writer
-            writer.write(b"TAKE %d\n" % handover.VERSION)
+            writer.write(b"TAKE %d\n" % state_snapshot.VERSION)
             line = await asyncio.wait_for(reader.readuntil(b"\n"), STEP_S)
-            checksum, length = handover.read_head(line)
-            return handover.decode(await asyncio.wait_for(reader.readexactly(length), STEP_S), checksum)
+            checksum, length = state_snapshot.read_head(line)
+            return state_snapshot.decode(await asyncio.wait_for(reader.readexactly(length), STEP_S), checksum)
         except FileNotFoundError:
             pass
         except (TimeoutError, OSError, ValueError, EOFError, asyncio.LimitOverrunError) as fault:
--- /dev/null
+++ b/badgeryoke/gateway/quota_counter/__init__.py
@@ -0,0 +1,1 @@
+"""The client of the shared quota counter."""
--- a/badgeryoke/counter.py
+++ b/badgeryoke/gateway/quota_counter/client.py
@@ -12,11 +12,11 @@
 
 from tornado.iostream import IOStream, StreamClosedError
 
-from badgeryoke.actor import Actor, Turns, dial, on_close, pump
-from badgeryoke.resp.parser import ErrorReply, Parser, Value, command
-from martenstep.interface import Total, Verdict
+from badgeryoke.decisions.interface import Total, Verdict
+from badgeryoke.gateway.actor import Actor, Turns, dial, on_close, pump
+from badgeryoke.gateway.resp.codec import ErrorReply, Parser, Value, command
 
-log = logging.getLogger("badgeryoke.counter")
+log = logging.getLogger(__name__)
 
 FROZEN_TIMES = 20.0  # time-outs without any answer after which the connection is taken for dead
 MOST_CALLS = 512  # calls without an answer; more are turned away here
--- a/badgeryoke/guarantee.py
+++ b/badgeryoke/gateway/reserved_admission.py
@@ -11,12 +11,12 @@
 from collections.abc import Callable, Mapping
 from typing import Any, Protocol
 
-from badgeryoke.actor import Turns
-from badgeryoke.core import LATE
-from badgeryoke.execution import Query
-from fleet.floor import WAIT_MS, Reserved
+from badgeryoke.cluster.reservations.lease_client import WAIT_MS, Reserved
+from badgeryoke.gateway.actor import Turns
+from badgeryoke.gateway.attempt import Query
+from badgeryoke.gateway.dispatcher import LATE
 
-log = logging.getLogger("badgeryoke.guarantee")
+log = logging.getLogger(__name__)
 
 TURN_S = 0.004  # between two looks at who has its turn, while any waits
 PATIENT_MS = (
@@ -25,7 +25,8 @@
 
 
 class Floor(Protocol):
-    """This gateway's stakes (`fleet.floor.Floor`); times are ms of the fleet's clock here."""
+    """This gateway's stakes (`badgeryoke.cluster.reservations.lease_client.Floor`); times are ms of the
+    fleet's clock here."""
 
     @property
     def stakes(self) -> Mapping[str, object]:
--- a/badgeryoke/resp/client_link.py
+++ b/badgeryoke/gateway/resp/client_connection.py
@@ -15,13 +15,13 @@
 
 from tornado.iostream import IOStream, StreamClosedError
 
-from badgeryoke.actor import Actor, Turns
-from badgeryoke.core import Answer, Core, Passing, Refused, Served
-from badgeryoke.execution import Query, customer_number
-from badgeryoke.relay import Relay
-from badgeryoke.resp.parser import MAX_BULK, Parser, Value, bulk, error, number, pairs, whole_number
+from badgeryoke.gateway.actor import Actor, Turns
+from badgeryoke.gateway.attempt import Query, customer_number
+from badgeryoke.gateway.dispatcher import Answer, Core, Passing, Refused, Served
+from badgeryoke.gateway.resp.codec import MAX_BULK, Parser, Value, bulk, error, number, pairs, whole_number
+from badgeryoke.gateway.response_stream import Relay
 
-log = logging.getLogger("badgeryoke.resp.client")
+log = logging.getLogger(__name__)
 N = TypeVar("N", int, float)
 
 COMMANDS = {b"SVC.QUERY": True, b"SVC.SUBMIT": False}  # whether for classes that are safe to repeat
--- a/badgeryoke/resp/front.py
+++ b/badgeryoke/gateway/resp/listener.py
@@ -8,12 +8,12 @@
 
 from tornado.iostream import IOStream
 
-from badgeryoke.actor import Turns
-from badgeryoke.core import Core
-from badgeryoke.host_group import HostGroup
-from badgeryoke.resp.client_link import READ_AT_ONCE, ClientLink
+from badgeryoke.gateway.actor import Turns
+from badgeryoke.gateway.discovery.client import HostGroup
+from badgeryoke.gateway.dispatcher import Core
+from badgeryoke.gateway.resp.client_connection import READ_AT_ONCE, ClientLink
 
-log = logging.getLogger("badgeryoke")
+log = logging.getLogger(__name__)
 
 # How long a client may take over a command, the first from its connection on, and how long it may keep a
 # connection with nothing open: one that asks once and stays, or says nothing, holds descriptor and memory.
--- a/badgeryoke/resp/server_link.py
+++ b/badgeryoke/gateway/resp/upstream_connection.py
@@ -18,15 +18,15 @@
 
 from tornado.iostream import IOStream, StreamClosedError
 
-from badgeryoke.actor import READ_CHUNK, Actor, Turns, dial, on_close
-from badgeryoke.execution import Execution, Query
-from badgeryoke.relay import WINDOW, Relay, Room
-from badgeryoke.resp.parser import MAX_LONG, ErrorReply, Parser, Passed, Value, command, number, pairs
+from badgeryoke.gateway.actor import READ_CHUNK, Actor, Turns, dial, on_close
+from badgeryoke.gateway.attempt import Execution, Query
+from badgeryoke.gateway.resp.codec import MAX_LONG, ErrorReply, Parser, Passed, Value, command, number, pairs
+from badgeryoke.gateway.response_stream import WINDOW, Relay, Room
 
 if TYPE_CHECKING:
-    from badgeryoke.fleet.pools import Lease
+    from badgeryoke.gateway.cluster.connection_leases import Lease
 
-log = logging.getLogger("badgeryoke.resp.server")
+log = logging.getLogger(__name__)
 
 IDLE_PART = 0.5  # of the settings' idle time a connection is kept: the backend may close it sooner
 # A connection is left alone for so long after an answer: its end may follow, or a second answer, which
@@ -164,9 +164,8 @@
         lease: Lease | None = None,
     ) -> None:
         super().__init__(loop)
-        self.lease = (
-            lease  # where the fleet keeps the server's limit: connections are opened and used under it alone
-        )
+        # where the fleet keeps the server's limit: connections are opened and used under it alone
+        self.lease = lease
         self._room = room or Room(WINDOW)
         self.address = address
         self._most_units = most_units
@@ -487,11 +486,11 @@
 
     @property
     def need(self) -> int:
-        """See badgeryoke.fleet.pools.Link."""
+        """See badgeryoke.gateway.cluster.connection_leases.Link."""
         return len(self._all) - len(self._idle) - self._opening + len(self._waiting)
 
     def shrink(self, many: int, all_: bool) -> None:
-        """See badgeryoke.fleet.pools.Link."""
+        """See badgeryoke.gateway.cluster.connection_leases.Link."""
         self.post(self._shrink, many, all_)
 
     def _shrink(self, many: int, all_: bool) -> None:
@@ -504,7 +503,7 @@
             connection.stream.close()
 
     def grown(self) -> None:
-        """See badgeryoke.fleet.pools.Link."""
+        """See badgeryoke.gateway.cluster.connection_leases.Link."""
         self.post(self._grown)
 
     def _grown(self) -> None:
--- /dev/null
+++ b/badgeryoke/testbed/checkers/__init__.py
@@ -0,0 +1,1 @@
+"""Checkers that judge a run by what they saw themselves."""
--- a/lab/referee.py
+++ b/badgeryoke/testbed/checkers/quota_checker.py
@@ -10,7 +10,7 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
-from lab.text.scenario import PlanText
+from badgeryoke.testbed.scenario.model import PlanText
 
 EDGE = 1e-6
 
--- a/lab/bench_fleet.py
+++ b/badgeryoke/testbed/cluster_benchmark.py
@@ -1,12 +1,14 @@
 """What a fleet costs on this machine: real processes, one a member, each with nothing but the fleet's part in
 it, their links on loopback and their stores in a folder; and the same decisions in simulated time.
 
-    python -m lab.bench_fleet idle [members] [groups]       CPU a second of a member that has nothing to do
-    python -m lab.bench_fleet promises [seconds]            acknowledged promises a second, and how long each took
-    python -m lab.bench_fleet groups [seconds]              the same with 1, 4 and 16 groups
-    python -m lab.bench_fleet messages                      messages a second a member, 3, 40 and 200 members, simulated
-    python -m lab.bench_fleet ratio [queries/s] [pairs]     CPU of a whole gateway, without a fleet and in one, in turns
-    python -m lab.bench_fleet rules                         CPU with and without the checks of the invariants
+    python -m badgeryoke.testbed.cluster_benchmark COMMAND
+
+    idle [members] [groups]: CPU a second of a member that has nothing to do
+    promises [seconds]: acknowledged promises a second, and how long each took
+    groups [seconds]: the same with 1, 4 and 16 groups
+    messages: messages a second a member, 3, 40 and 200 members, simulated
+    ratio [queries/s] [pairs]: CPU of a whole gateway, without a fleet and in one, in turns
+    rules: CPU with and without the checks of the invariants
 
 Figures go to docs/measurements.md, "Promises of a fleet".
 """
@@ -30,21 +32,21 @@
 
 import msgspec
 
-from badgeryoke.actor import Turns
-from badgeryoke.fleet.pools import Pools
-from badgeryoke.fleet.service import Service
-from badgeryoke.fleet.settings import Fleet, MemberEntry, Servers
-from fleet.invariants import Invariants
-from fleet.part import Applied
-from fleet.promises import Promise
-from fleet.replica import Replica
-from lab.fleet.drawn import play_seed
-from lab.fleet.faults import Plan
-from lab.fleet.world import FleetWorld
-from lab.result import DEADLINE_MS
-from lab.stage.resp import words
-from lab.stage.run import Stage as RealStage
-from lab.text.scenario import PlanText, Scenario
+from badgeryoke.cluster.invariants import Invariants
+from badgeryoke.cluster.key_value import Promise
+from badgeryoke.cluster.raft.node import Replica
+from badgeryoke.cluster.state_machine.part import Applied
+from badgeryoke.gateway.actor import Turns
+from badgeryoke.gateway.cluster.connection_leases import Pools
+from badgeryoke.gateway.cluster.service import Service
+from badgeryoke.gateway.cluster.settings import Fleet, MemberEntry, Servers
+from badgeryoke.testbed.cluster_simulation.fault_plan import Plan
+from badgeryoke.testbed.cluster_simulation.generated_plans import play_seed
+from badgeryoke.testbed.cluster_simulation.world import FleetWorld
+from badgeryoke.testbed.emulator.resp import words
+from badgeryoke.testbed.emulator.run import Stage as RealStage
+from badgeryoke.testbed.report.result import DEADLINE_MS
+from badgeryoke.testbed.scenario.model import PlanText, Scenario
 
 SERVERS = 8
 VALUE = "v" * 200
@@ -141,7 +143,14 @@
 
     def __init__(self, fleet: Fleet, pools: bool) -> None:
         settings = msgspec.json.encode(fleet).decode()
-        command = [sys.executable, "-m", "lab.bench_fleet", "member", json.dumps(pools), settings]
+        command = [
+            sys.executable,
+            "-m",
+            "badgeryoke.testbed.cluster_benchmark",
+            "member",
+            json.dumps(pools),
+            settings,
+        ]
         self.process = subprocess.Popen(command, stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True)
 
     def ask(self, **what: Any) -> None:
--- a/lab/fleet/disk.py
+++ b/badgeryoke/testbed/cluster_simulation/disk.py
@@ -14,8 +14,8 @@
 
 import msgspec
 
-from fleet.errors import StoreFailed
-from fleet.events import (
+from badgeryoke.cluster.errors import StoreFailed
+from badgeryoke.cluster.events import (
     Entries,
     Forget,
     HardState,
@@ -27,8 +27,8 @@
     StoreBroke,
     Stored,
 )
-from fleet.messages import CONFIG, Config, Entry
-from lab.fleet.network import Calendar
+from badgeryoke.cluster.messages import CONFIG, Config, Entry
+from badgeryoke.testbed.cluster_simulation.network import Calendar
 
 
 @dataclass(slots=True)
--- a/lab/fleet/faults.py
+++ b/badgeryoke/testbed/cluster_simulation/fault_plan.py
@@ -1,9 +1,9 @@
 """Plans of what is done to a simulated fleet: drawn from a seed, played, and shrunk where one fails.
 
-A plan's faults are the scenarios' own (`lab.text.scenario.Fault`: words, gateways from 1), with some more
-that only a simulated fleet knows: "full" and "slow-disk" of a gateway, "loss" and "twice" of all links
-(amount: a chance), "narrow" of links (amount: bytes a ms).  `mode` "whole" with "lose": wait until all copies
-are whole again, at most 20 s.
+A plan's faults are the scenarios' own (`badgeryoke.testbed.scenario.model.Fault`: words, gateways from 1),
+with some more that only a simulated fleet knows: "full" and "slow-disk" of a gateway, "loss" and "twice" of
+all links (amount: a chance), "narrow" of links (amount: bytes a ms).  `mode` "whole" with "lose": wait until
+all copies are whole again, at most 20 s.
 """
 
 from __future__ import annotations
@@ -12,7 +12,7 @@
 from functools import partial
 from random import Random
 
-from lab.text.scenario import STANDS, ContractText, Fault, RollText
+from badgeryoke.testbed.scenario.model import STANDS, ContractText, Fault, RollText
 
 
 @dataclass(frozen=True, slots=True)
--- a/lab/fleet/gateway.py
+++ b/badgeryoke/testbed/cluster_simulation/gateway.py
@@ -16,19 +16,19 @@
 from random import Random
 from typing import TYPE_CHECKING, Any
 
-from fleet.connections import Keeper, process
-from fleet.contracts import ContractsRead, Propose, Terms, Window
-from fleet.floor import Floor
-from fleet.invariants import Broken
-from fleet.messages import name_of
-from fleet.part import FLEET, Applied
-from fleet.rollout import Duty, RollAsk, Rolled, RollsRead, least_ms
-from lab.fleet.books import LEFT_OUT_MS, Book, least
-from lab.fleet.clock import UNIX_MS
-from lab.text.scenario import ContractText, RollText
+from badgeryoke.cluster.connection_limits import Keeper, process
+from badgeryoke.cluster.invariants import Broken
+from badgeryoke.cluster.messages import name_of
+from badgeryoke.cluster.reservations.contract import ContractsRead, Propose, Terms, Window
+from badgeryoke.cluster.reservations.lease_client import Floor
+from badgeryoke.cluster.rolling_restart.restart import Duty, RollAsk, Rolled, RollsRead, least_ms
+from badgeryoke.cluster.state_machine.part import FLEET, Applied
+from badgeryoke.testbed.checkers.contract_ledger import LEFT_OUT_MS, Book, least
+from badgeryoke.testbed.cluster_simulation.clock import UNIX_MS
+from badgeryoke.testbed.scenario.model import ContractText, RollText
 
 if TYPE_CHECKING:
-    from lab.fleet.world import FleetWorld, Machine
+    from badgeryoke.testbed.cluster_simulation.world import FleetWorld, Machine
 
 HOP_MS = (0.2, 1.0)
 PUMP_MS = 20.0
@@ -439,7 +439,7 @@
             self._call(ContractsRead(id="lab/read"), told)
 
     def contract_floor(self) -> float | None:
-        """See lab.fleet.books."""
+        """See badgeryoke.testbed.checkers.contract_ledger."""
         return least([deal.book.seconds(0.0, math.inf, self.losses) for deal in self.deals if deal.admitted])
 
     def contract_over(self) -> float | None:
--- a/lab/fleet/drawn.py
+++ b/badgeryoke/testbed/cluster_simulation/generated_plans.py
@@ -6,11 +6,11 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
-from lab.fleet.checker import Finding
-from lab.fleet.faults import Plan, draw
-from lab.fleet.figures import FleetFigures
-from lab.fleet.world import FleetWorld
-from lab.text.scenario import Scenario
+from badgeryoke.testbed.checkers.history_checker import Finding
+from badgeryoke.testbed.cluster_simulation.fault_plan import Plan, draw
+from badgeryoke.testbed.cluster_simulation.world import FleetWorld
+from badgeryoke.testbed.report.cluster_figures import FleetFigures
+from badgeryoke.testbed.scenario.model import Scenario
 
 MakeWorld = Callable[[Plan], FleetWorld]
 UNAVAILABLE_MS, RESTORED_MS = 2000.0, 10_000.0
--- a/lab/fleet/network.py
+++ b/badgeryoke/testbed/cluster_simulation/network.py
@@ -14,7 +14,7 @@
 from random import Random
 from typing import Any
 
-from fleet.messages import AnyMessage, Append, Forward, Piece, Reply
+from badgeryoke.cluster.messages import AnyMessage, Append, Forward, Piece, Reply
 
 Pair = tuple[str, str]  # names: from, to
 MOST_KEPT = 16
--- a/lab/fleet/soak.py
+++ b/badgeryoke/testbed/cluster_simulation/soak.py
@@ -1,4 +1,5 @@
-"""`python -m lab.fleet.soak --seeds N --jobs J`: plays drawn plans, and prints one JSON document.
+"""`python -m badgeryoke.testbed.cluster_simulation.soak --seeds N --jobs J`: plays drawn plans, and prints
+one JSON document.
 
 The same seeds give the same document whatever the number of processes.  Exit code 1 where a seed fails.
 """
@@ -12,9 +13,14 @@
 from functools import partial
 from typing import Any
 
-from lab.fleet.drawn import RESTORED_MS, UNAVAILABLE_MS, play_seed, shrink
-from lab.fleet.faults import KINDS, draw
-from lab.fleet.figures import spread
+from badgeryoke.testbed.cluster_simulation.fault_plan import KINDS, draw
+from badgeryoke.testbed.cluster_simulation.generated_plans import (
+    RESTORED_MS,
+    UNAVAILABLE_MS,
+    play_seed,
+    shrink,
+)
+from badgeryoke.testbed.report.cluster_figures import spread
 
 
 def one(seed: int, members: int, kind: str) -> dict[str, Any]:
--- a/lab/fleet/world.py
+++ b/badgeryoke/testbed/cluster_simulation/world.py
@@ -17,11 +17,23 @@
 
 import msgspec
 
-from fleet.errors import FleetError
-from fleet.events import Call, Done, Effect, Leave, NodeEvent, Received, Saved, Say, Send, Store, Tick
-from fleet.groups import group_of
-from fleet.invariants import Broken, Invariants
-from fleet.messages import (
+from badgeryoke.cluster.errors import FleetError
+from badgeryoke.cluster.events import (
+    Call,
+    Done,
+    Effect,
+    Leave,
+    NodeEvent,
+    Received,
+    Saved,
+    Say,
+    Send,
+    Store,
+    Tick,
+)
+from badgeryoke.cluster.invariants import Broken, Invariants
+from badgeryoke.cluster.key_value import Promise, PromiseRead
+from badgeryoke.cluster.messages import (
     CONFIG,
     AnyMessage,
     Append,
@@ -32,18 +44,18 @@
     Vote,
     name_of,
 )
-from fleet.node import FOUNDING, Holder, Member, Node, Setup
-from fleet.part import Applied, Command
-from fleet.promises import Promise, PromiseRead
-from fleet.timings import Timings
-from lab.fleet.checker import Finding, Op, Verdict, judge
-from lab.fleet.clock import Clock
-from lab.fleet.disk import Disk, Kept
-from lab.fleet.faults import Plan
-from lab.fleet.figures import FleetFigures
-from lab.fleet.gateway import Gates
-from lab.fleet.network import Calendar, Network
-from lab.text.scenario import Fault
+from badgeryoke.cluster.node import FOUNDING, Holder, Member, Node, Setup
+from badgeryoke.cluster.placement.directory import group_of
+from badgeryoke.cluster.state_machine.part import Applied, Command
+from badgeryoke.cluster.timings import Timings
+from badgeryoke.testbed.checkers.history_checker import Finding, Op, Verdict, judge
+from badgeryoke.testbed.cluster_simulation.clock import Clock
+from badgeryoke.testbed.cluster_simulation.disk import Disk, Kept
+from badgeryoke.testbed.cluster_simulation.fault_plan import Plan
+from badgeryoke.testbed.cluster_simulation.gateway import Gates
+from badgeryoke.testbed.cluster_simulation.network import Calendar, Network
+from badgeryoke.testbed.report.cluster_figures import FleetFigures
+from badgeryoke.testbed.scenario.model import Fault
 
 MOST_INBOX = 4096  # events that wait for a frozen process; further ones are lost, as a full socket's are
 CLIENT_MS = 500.0  # that a client waits beyond the call's own time
@@ -390,8 +402,8 @@
                     who not in up
                     or kept is None
                     or kept.last < self._before.get(group, 0)
-                    or who not in config.voters
-                ):  # type: ignore[union-attr]
+                    or who not in config.voters  # type: ignore[union-attr]
+                ):
                     found.append((group, who))
         return found
 
--- a/lab/commands.py
+++ b/badgeryoke/testbed/commands.py
@@ -17,12 +17,12 @@
 from rich.progress import Progress
 from rich.table import Table
 
-from lab.fleet.figures import FleetFigures, spread
-from lab.report.write import compare_folders, write_folder
-from lab.result import Result, within_stated
-from lab.sim.world import play
-from lab.text.scenario import Scenario, load, shipped
-from lab.text.sexpr import TextError
+from badgeryoke.testbed.report.cluster_figures import FleetFigures, spread
+from badgeryoke.testbed.report.result import Result, within_stated
+from badgeryoke.testbed.report.write import compare_folders, write_folder
+from badgeryoke.testbed.scenario.model import Scenario, load, shipped
+from badgeryoke.testbed.scenario.sexpr import TextError
+from badgeryoke.testbed.simulation.world import play
 
 BAD, UNUSABLE, FAILED = 1, 2, 4
 KEYS = ("beyond_share", "sent_of_allowed", "ceiling_excess", "detect_ms")
@@ -92,8 +92,8 @@
     Example:
         badgeryoke lab run counter-split --to results/split --json
     """
-    from lab.stage.fleet import unplayable
-    from lab.stage.run import Stage
+    from badgeryoke.testbed.emulator.cluster import unplayable
+    from badgeryoke.testbed.emulator.run import Stage
 
     text, source = _load(scenario)
     if why_not := unplayable(text):
@@ -151,7 +151,7 @@
     text, seed = job
     if not text.fleet:
         return play(text, seed), FleetFigures()
-    from lab.fleet.drawn import play_scenario
+    from badgeryoke.testbed.cluster_simulation.generated_plans import play_scenario
 
     return play(text, seed), play_scenario(text, seed)
 
@@ -313,7 +313,7 @@
     Example:
         badgeryoke lab report results/split
     """
-    from lab.report.write import render_folder
+    from badgeryoke.testbed.report.write import render_folder
 
     try:
         click.echo(str(render_folder(folder)))
@@ -332,7 +332,7 @@
     Example:
         badgeryoke demo --seconds 20
     """
-    from lab.stage.run import Stage
+    from badgeryoke.testbed.emulator.run import Stage
 
     text, _ = _load("demo")
     text = replace(text, length_ms=seconds * 1000.0 if seconds > 0 else 24 * 3_600_000.0)
--- a/lab/customers.py
+++ b/badgeryoke/testbed/customers.py
@@ -5,7 +5,7 @@
 import random
 from dataclasses import dataclass
 
-from lab.text.scenario import Crowd, Scenario
+from badgeryoke.testbed.scenario.model import Crowd, Scenario
 
 
 @dataclass
--- a/lab/core_cost.py
+++ b/badgeryoke/testbed/dispatcher_cost.py
@@ -1,7 +1,7 @@
 """CPU a query of the core, side by side in one run: the fleet's part off, on without a contract, with another
 tenant's contract, and with one that every query is drawn from.
 
-    python -m lab.core_cost [rounds]
+    python -m badgeryoke.testbed.dispatcher_cost [rounds]
 
 Each round plays a hundred queries in each of the four, in an order drawn anew; the ratio is the middle one of
 all rounds, since a busy machine slows whole rounds.
@@ -17,12 +17,12 @@
 from collections.abc import Callable
 from typing import Any
 
-from badgeryoke.actor import Turns
-from badgeryoke.core import Core
-from badgeryoke.execution import Execution, Query
-from fleet.floor import Floor, Stake
-from fleet.timings import Timings
-from martenstep import interface as api
+from badgeryoke.cluster.reservations.lease_client import Floor, Stake
+from badgeryoke.cluster.timings import Timings
+from badgeryoke.decisions import interface as api
+from badgeryoke.gateway.actor import Turns
+from badgeryoke.gateway.attempt import Execution, Query
+from badgeryoke.gateway.dispatcher import Core
 
 QUERIES, ROUNDS = 100, 500
 KINDS = ("off", "no contract", "another's contract", "drawn")
--- a/lab/stage/clients.py
+++ b/badgeryoke/testbed/emulator/clients.py
@@ -7,7 +7,7 @@
 from collections import deque
 from collections.abc import Callable
 
-from lab.stage.resp import Peer, words
+from badgeryoke.testbed.emulator.resp import Peer, words
 
 MOST_CONNECTIONS = 250  # to one gateway; a try that finds all of them busy waits its turn
 MOST_WAITING = 5000
--- a/lab/stage/fleet.py
+++ b/badgeryoke/testbed/emulator/cluster.py
@@ -15,15 +15,13 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-from fleet.groups import copies_for, group_of
-from fleet.part import FLEET
-from fleet.rollout import least_ms
-from lab.fleet.books import FEW, least
-from lab.fleet.books import Book as ContractBook
-from lab.fleet.figures import FleetFigures
-from lab.stage.links import Links
-from lab.stage.process import STORE, GatewayProcess
-from lab.stage.promises import (
+from badgeryoke.cluster.placement.directory import copies_for, group_of
+from badgeryoke.cluster.rolling_restart.restart import least_ms
+from badgeryoke.cluster.state_machine.part import FLEET
+from badgeryoke.testbed.checkers.contract_ledger import FEW, least
+from badgeryoke.testbed.checkers.contract_ledger import Book as ContractBook
+from badgeryoke.testbed.emulator.faulty_links import Links
+from badgeryoke.testbed.emulator.key_value_load import (
     AGAIN,
     AGAIN_S,
     MOST_TRIES,
@@ -34,8 +32,10 @@
     PromiseClient,
     fleet_call,
 )
-from lab.stage.servers import CORES, LoadServer
-from lab.text.scenario import ContractText, Fault, RollText, Scenario
+from badgeryoke.testbed.emulator.process import STORE, GatewayProcess
+from badgeryoke.testbed.emulator.servers import CORES, LoadServer
+from badgeryoke.testbed.report.cluster_figures import FleetFigures
+from badgeryoke.testbed.scenario.model import ContractText, Fault, RollText, Scenario
 
 LOOK_S = 0.1
 STATUS_S = 1.0
@@ -328,7 +328,8 @@
                 task.result()
 
     def asked(self, customer: int, now: float, units: float, me: int) -> Callable[[str], None]:
-        """A try of a customer at a gateway; the result is told how it ended.  See lab.fleet.books."""
+        """A try of a customer at a gateway; the result is told how it ended.  See
+        badgeryoke.testbed.checkers.contract_ledger."""
         text = self._contract_of.get(customer)
         if text is None or not text.from_ms <= now < text.to_ms:
             return lambda kind: None
@@ -348,7 +349,7 @@
         ) <= (self.scenario.gateways)
 
     def shortfall_error(self) -> float | None:
-        """See lab.fleet.books; of contracts that were admitted."""
+        """See badgeryoke.testbed.checkers.contract_ledger; of contracts that were admitted."""
         return max(
             (
                 book.error(self._told_short[name])
@@ -359,7 +360,7 @@
         )
 
     def floor(self) -> float | None:
-        """See lab.fleet.books; of contracts that were admitted."""
+        """See badgeryoke.testbed.checkers.contract_ledger; of contracts that were admitted."""
         return least([self._seconds(text.name) for text in self.scenario.contracts])
 
     def _seconds(self, name: str) -> dict[int, float]:
--- a/lab/stage/counter.py
+++ b/badgeryoke/testbed/emulator/counter.py
@@ -6,9 +6,9 @@
 
 import asyncio
 
-from lab.sim.counter import CounterModel
-from lab.stage.resp import Peer
-from lab.text.scenario import Fault
+from badgeryoke.testbed.emulator.resp import Peer
+from badgeryoke.testbed.scenario.model import Fault
+from badgeryoke.testbed.simulation.counter import CounterModel
 
 
 class CounterStage:
--- a/lab/stage/links.py
+++ b/badgeryoke/testbed/emulator/faulty_links.py
@@ -16,7 +16,7 @@
 from collections import deque
 from dataclasses import dataclass
 
-from lab.text.scenario import Fault
+from badgeryoke.testbed.scenario.model import Fault
 
 MOST_HELD = 1024 * 1024  # bytes on their way in one direction of one connection; then the sender has to wait
 MOST_PIECE = 64 * 1024  # a read takes at the most, so that a narrow way is shared
--- a/lab/stage/process.py
+++ b/badgeryoke/testbed/emulator/process.py
@@ -15,9 +15,9 @@
 from pathlib import Path
 from typing import Any
 
-from lab.text.scenario import Scenario
+from badgeryoke.testbed.scenario.model import Scenario
 
-ROOT = Path(__file__).resolve().parent.parent.parent
+ROOT = Path(__file__).resolve().parents[3]
 STORE = "fleet"  # folder of what a gateway holds for the fleet
 BELIEF = re.compile(r"counter believed (\w+): ([^\[]*?)(?:, gateways (\[.*\]))?$")
 
--- a/lab/stage/run.py
+++ b/badgeryoke/testbed/emulator/run.py
@@ -14,19 +14,19 @@
 
 from hdrh.histogram import HdrHistogram
 
-from lab.customers import Customer, draw_customers
-from lab.fleet.figures import FleetFigures
-from lab.referee import Referee
-from lab.result import DEADLINE_MS, Result, Shown, conclude
-from lab.sim.counter import CounterModel
-from lab.stage.agent import Agent, roster
-from lab.stage.clients import Door
-from lab.stage.counter import CounterStage
-from lab.stage.fleet import ROLLED_S, FleetStage
-from lab.stage.process import BELIEF, GatewayProcess
-from lab.stage.resp import words
-from lab.stage.servers import CORES, LoadServer
-from lab.text.scenario import Fault, Scenario
+from badgeryoke.testbed.checkers.quota_checker import Referee
+from badgeryoke.testbed.customers import Customer, draw_customers
+from badgeryoke.testbed.emulator.clients import Door
+from badgeryoke.testbed.emulator.cluster import ROLLED_S, FleetStage
+from badgeryoke.testbed.emulator.counter import CounterStage
+from badgeryoke.testbed.emulator.discovery_agent import Agent, roster
+from badgeryoke.testbed.emulator.process import BELIEF, GatewayProcess
+from badgeryoke.testbed.emulator.resp import words
+from badgeryoke.testbed.emulator.servers import CORES, LoadServer
+from badgeryoke.testbed.report.cluster_figures import FleetFigures
+from badgeryoke.testbed.report.result import DEADLINE_MS, Result, Shown, conclude
+from badgeryoke.testbed.scenario.model import Fault, Scenario
+from badgeryoke.testbed.simulation.counter import CounterModel
 
 FRONT_S = 1.5  # after which clients leave a dead gateway
 READY_S = 20.0
--- a/lab/stage/servers.py
+++ b/badgeryoke/testbed/emulator/servers.py
@@ -6,7 +6,7 @@
 import random
 from collections.abc import Callable
 
-from lab.stage.resp import Peer
+from badgeryoke.testbed.emulator.resp import Peer
 
 REPORT_MS = (120.0, 740.0)  # between two refreshings of what a server says of its load
 CORES = 2
--- a/lab/fleet/figures.py
+++ b/badgeryoke/testbed/report/cluster_figures.py
@@ -16,9 +16,8 @@
     leaders_in_a_term: int | None = None  # the most, over all groups
     unavailable_ms: float | None = None  # longest without an acknowledgement while a majority was joined
     copies_restored_ms: float | None = None  # the longest, from a loss until all copies are whole again
-    contract_floor: float | None = (
-        None  # least share of a contract's rate served over a second that asked for it
-    )
+    # least share of a contract's rate served over a second that asked for it
+    contract_floor: float | None = None
     contract_over: float | None = None  # most by which leases passed the contract, units a second
     shortfall_error: float | None = None  # told against true units short
     lent_share: float | None = None  # capacity used of that offered while reserved capacity was idle
--- a/lab/result.py
+++ b/badgeryoke/testbed/report/result.py
@@ -5,11 +5,11 @@
 from dataclasses import dataclass
 from typing import Any
 
-from lab.referee import Referee, Verdict
-from lab.text.scenario import Scenario
-from martenstep import interface as api
-from martenstep.watch.bound import CEILING_ERROR, stated
-from martenstep.watch.state import Belief
+from badgeryoke.decisions import interface as api
+from badgeryoke.decisions.counter_health.detector import Belief
+from badgeryoke.decisions.counter_health.error_bound import CEILING_ERROR, stated
+from badgeryoke.testbed.checkers.quota_checker import Referee, Verdict
+from badgeryoke.testbed.scenario.model import Scenario
 
 DEADLINE_MS, SAFE_AIM_MS = 2000.0, 400.0
 ALARMS = {
--- a/lab/report/write.py
+++ b/badgeryoke/testbed/report/write.py
@@ -10,9 +10,9 @@
 
 from jinja2 import Environment, FileSystemLoader
 
-from lab.report.plot import Line, bands, chart
-from lab.result import Result, within_stated
-from lab.text.scenario import Scenario, parse
+from badgeryoke.testbed.report.plot import Line, bands, chart
+from badgeryoke.testbed.report.result import Result, within_stated
+from badgeryoke.testbed.scenario.model import Scenario, parse
 
 SHOWN = (
     "ceiling_excess",
--- a/lab/text/scenario.py
+++ b/badgeryoke/testbed/scenario/model.py
@@ -1,8 +1,8 @@
 """Scenarios: what a fleet is, who asks it for what, and what goes wrong when.
 
-A text is one list; `lab/scenarios/` has the shipped ones.  Times carry ms, s or min, rates /s, amounts u,
-parts %, multiples x; a range is written 4..7.  Gateways, customers and counter parts are numbered from 1, as
-people count.  What gateways share is played only where the text says (fleet on).
+A text is one list; `badgeryoke/testbed/scenarios/` has the shipped ones.  Times carry ms, s or min, rates /s,
+amounts u, parts %, multiples x; a range is written 4..7.  Gateways, customers and counter parts are numbered
+from 1, as people count.  What gateways share is played only where the text says (fleet on).
 """
 
 from __future__ import annotations
@@ -13,7 +13,7 @@
 from pathlib import Path
 from typing import TypeVar
 
-from lab.text.sexpr import Form, Node, Quantity, TextError, Word, read
+from badgeryoke.testbed.scenario.sexpr import Form, Node, Quantity, TextError, Word, read
 
 FOLDER = Path(__file__).parent.parent / "scenarios"
 
@@ -620,8 +620,8 @@
                 key=lambda fault: fault.at_ms,
             )
         ),
-        **made,
-    )  # type: ignore[arg-type]
+        **made,  # type: ignore[arg-type]
+    )
 
 
 def _named(forms: list[Form], made: list[Named]) -> tuple[Named, ...]:
--- a/lab/many.py
+++ b/badgeryoke/testbed/seed_sweep.py
@@ -1,5 +1,5 @@
-"""`python -m lab.many SCENARIO --seeds A..B --jobs J --json`: a scenario on sockets with many seeds, one JSON
-document.
+"""`python -m badgeryoke.testbed.seed_sweep SCENARIO --seeds A..B --jobs J --json`: a scenario on sockets with
+many seeds, one JSON document.
 
 Each run has a process of its own; at most `--jobs` are played at once.  Beside worst and median of each
 figure stands how loaded the machine was: the load average, and how late the emulator itself ran, which bounds
@@ -23,12 +23,12 @@
 from pathlib import Path
 from typing import Any
 
-from lab.fleet.figures import spread
-from lab.report.write import commit
-from lab.stage.fleet import unplayable
-from lab.stage.run import Stage
-from lab.text.scenario import load
-from lab.text.sexpr import TextError
+from badgeryoke.testbed.emulator.cluster import unplayable
+from badgeryoke.testbed.emulator.run import Stage
+from badgeryoke.testbed.report.cluster_figures import spread
+from badgeryoke.testbed.report.write import commit
+from badgeryoke.testbed.scenario.model import load
+from badgeryoke.testbed.scenario.sexpr import TextError
 
 LATE_MS = 300.0  # of the 450 that a gateway gives its front
 BESIDE = (
--- a/lab/sim/counter.py
+++ b/badgeryoke/testbed/simulation/counter.py
@@ -12,7 +12,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-from lab.text.scenario import Fault, Scenario
+from badgeryoke.testbed.scenario.model import Fault, Scenario
 
 BUSY_MS = 250.0  # a part with more than this of calls before it turns further ones away
 LOG_MS = 5000.0  # additions are remembered so long, for swaps that forget the last stretch
--- a/lab/sim/world.py
+++ b/badgeryoke/testbed/simulation/world.py
@@ -12,14 +12,14 @@
 from collections.abc import Callable
 from typing import Any
 
-from lab.customers import Customer, draw_customers
-from lab.referee import Referee
-from lab.result import DEADLINE_MS, Result, Shown, conclude, settings_of
-from lab.sim.counter import CounterModel
-from lab.text.scenario import Fault, Scenario
-from martenstep import interface as api
-from martenstep.decide import Gateway
-from martenstep.watch.guarded import Guarded
+from badgeryoke.decisions import interface as api
+from badgeryoke.decisions.counter_health.monitored_policy import Guarded
+from badgeryoke.decisions.policy.engine import Gateway
+from badgeryoke.testbed.checkers.quota_checker import Referee
+from badgeryoke.testbed.customers import Customer, draw_customers
+from badgeryoke.testbed.report.result import DEADLINE_MS, Result, Shown, conclude, settings_of
+from badgeryoke.testbed.scenario.model import Fault, Scenario
+from badgeryoke.testbed.simulation.counter import CounterModel
 
 HOP_MS = (0.2, 1.0)  # one way between any two parties
 FIRST_MS = 1_000_000_000.0  # the clock's value at the start
@@ -80,7 +80,9 @@
         elif fault.word in ("kill", "lose"):
             self._kill(fault.groups[0][0] - 1)
         elif fault.word != "start":
-            pass  # what goes wrong between gateways is the simulated fleet's matter (lab.fleet)
+            # what goes wrong between gateways is the simulated fleet's matter
+            # (badgeryoke.testbed.cluster_simulation)
+            pass
         else:
             self._start(fault.groups[0][0] - 1)
 
--- a/tests/test_fleet_replica.py
+++ b/tests/cluster/raft/test_raft.py
@@ -12,7 +12,7 @@
 import msgspec
 import pytest
 
-from fleet.errors import (
+from badgeryoke.cluster.errors import (
     Crowded,
     FleetError,
     InvariantBroken,
@@ -21,7 +21,7 @@
     UnknownOutcome,
     WrongState,
 )
-from fleet.events import (
+from badgeryoke.cluster.events import (
     Change,
     Done,
     Effect,
@@ -40,10 +40,21 @@
     Stored,
     Tick,
 )
-from fleet.invariants import Broken, Invariants, Rule
-from fleet.messages import COMMAND, Append, Appended, Ask, Config, Entry, Id, Piece, Vote, name_of
-from fleet.replica import MOST_BODY, Replica, Role
-from fleet.timings import Timings
+from badgeryoke.cluster.invariants import Broken, Invariants, Rule
+from badgeryoke.cluster.messages import (
+    COMMAND,
+    Append,
+    Appended,
+    Ask,
+    Config,
+    Entry,
+    Id,
+    Piece,
+    Vote,
+    name_of,
+)
+from badgeryoke.cluster.raft.node import MOST_BODY, Replica, Role
+from badgeryoke.cluster.timings import Timings
 
 TIMINGS = Timings(snapshot_entries=15, piece_bytes=96, most_batch=4, most_in_flight=16)
 
--- a/tests/test_fleet_contracts.py
+++ b/tests/cluster/reservations/test_contracts.py
@@ -22,8 +22,20 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
-from fleet import contracts, leases
-from fleet.contracts import (
+from badgeryoke.cluster.errors import (
+    BadCall,
+    FleetError,
+    LeaseOver,
+    NoRoom,
+    NotThere,
+    UnknownOutcome,
+    WrongState,
+)
+from badgeryoke.cluster.invariants import Broken, Invariants, Rule
+from badgeryoke.cluster.leases import lease_pool
+from badgeryoke.cluster.leases.lease_pool import Divided, Grant
+from badgeryoke.cluster.reservations import contract
+from badgeryoke.cluster.reservations.contract import (
     CancelContract,
     Capacity,
     Change,
@@ -39,13 +51,10 @@
     Told,
     Window,
 )
-from fleet.errors import BadCall, FleetError, LeaseOver, NoRoom, NotThere, UnknownOutcome, WrongState
-from fleet.floor import Floor
-from fleet.invariants import Broken, Invariants, Rule
-from fleet.leases import Divided, Grant
-from fleet.part import Applied, Command, View
-from fleet.share import Claim, Share, split
-from fleet.timings import Timings
+from badgeryoke.cluster.reservations.lease_client import Floor
+from badgeryoke.cluster.reservations.priority_shedding import Claim, Share, split
+from badgeryoke.cluster.state_machine.part import Applied, Command, View
+from badgeryoke.cluster.timings import Timings
 
 T = Timings()
 ROUGH = Timings(clock_drift=0.05)
@@ -211,7 +220,7 @@
             got = propose(part, 0.0, f"{number}b", one).error
             assert got is None
         if got is None:
-            held += [(begin, end + TAIL, one.rate) for begin, end in contracts.spans(one.windows)]
+            held += [(begin, end + TAIL, one.rate) for begin, end in contract.spans(one.windows)]
     for at in {begin for begin, _, _ in held}:
         assert sum(rate for begin, end, rate in held if begin <= at < end) <= 100.0 + 1e-6
 
@@ -594,9 +603,9 @@
                 (part if command.key() == "" else groups).apply(at, command)
             groups.seen(at)
             post = [sent for sent in post if sent[0] > at]
-            for contract in list(groups.held):
+            for contract_name in list(groups.held):
                 for who in ("g", "h"):
-                    use = uses.setdefault((contract, who), [0, 0.0, 0.0, 0.0, 0.0])
+                    use = uses.setdefault((contract_name, who), [0, 0.0, 0.0, 0.0, 0.0])
                     if draw.random() < 0.2:
                         keep = now_used(use, at)
                         got = groups.apply(
@@ -604,7 +613,7 @@
                             Lease(
                                 id=f"{at}{who}",
                                 tenant="dealer",
-                                contract=contract,
+                                contract=contract_name,
                                 holder=who,
                                 number=int(use[0]),
                                 keep=keep,
@@ -718,7 +727,7 @@
     back = [n for n in range(int(rest[1] // 100) + 1, 300) if lent[n] > 0.05 * 60.0]
     assert max(back, default=0) <= int((rest[1] + 250.0) // 100)
     town.run(town.end + 15_000.0)
-    told = town.part.held["p"].short.get(contracts.NO_LEASE, {}).get("-", 0.0)
+    told = town.part.held["p"].short.get(contract.NO_LEASE, {}).get("-", 0.0)
     due = 2 * 30.0 + 60.0 * 32.0  # a burst after each rest, and the rate
     assert told == pytest.approx(due - sum(served), abs=0.01 * due)
 
@@ -735,7 +744,7 @@
     town.run(10_000.0)
     drawn = town.floors[2].stakes["p"].drawn
     town.run(45_000.0)
-    told = town.part.held["p"].short[contracts.NO_LEASE]["-"]
+    told = town.part.held["p"].short[contract.NO_LEASE]["-"]
     missed = 7.0 * 60.0  # from its lease's end until it hears again
     assert drawn > 0.0 and missed <= told <= 1.15 * missed
 
@@ -783,8 +792,8 @@
 
 
 def test_the_leases_module_is_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(leases, "MOST_HOLDERS", 16)
+    monkeypatch.setattr(lease_pool, "MOST_HOLDERS", 16)
     one = Divided(1.0)
-    for n in range(leases.MOST_HOLDERS):
+    for n in range(lease_pool.MOST_HOLDERS):
         one.ask(str(n), 0, 0.0, 1.0, 0.0, Invariants())
     assert isinstance(one.ask("x", 0, 0.0, 1.0, 0.0, Invariants()), BadCall)
--- a/tests/test_fleet_membership.py
+++ b/tests/cluster/test_membership.py
@@ -14,10 +14,26 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from fleet.errors import AnotherFleet, BadCall, Crowded, StaleIncarnation
-from fleet.events import HardState, Received, Saved, Say, Send, Snapshot, Store, Stored, Tick
-from fleet.founding import Founding, Record, read
-from fleet.groups import (
+from badgeryoke.cluster.bootstrap import Founding, Record, read
+from badgeryoke.cluster.errors import AnotherFleet, BadCall, Crowded, StaleIncarnation
+from badgeryoke.cluster.events import HardState, Received, Saved, Say, Send, Snapshot, Store, Stored, Tick
+from badgeryoke.cluster.invariants import Invariants
+from badgeryoke.cluster.membership.protocol import LEFT_GRACE, Membership
+from badgeryoke.cluster.messages import (
+    CONFIG,
+    NOTHING,
+    Ack,
+    Config,
+    Found,
+    IAm,
+    Id,
+    Ping,
+    Rumour,
+    WhoAreYou,
+    name_of,
+)
+from badgeryoke.cluster.node_setup import FOUNDING, Member, Setup
+from badgeryoke.cluster.placement.directory import (
     FORCED_TERMS,
     LONGEST_MOVE_MS,
     Enrol,
@@ -30,13 +46,9 @@
     forced,
     group_of,
 )
-from fleet.invariants import Invariants
-from fleet.log import Log
-from fleet.membership import LEFT_GRACE, Membership
-from fleet.messages import CONFIG, NOTHING, Ack, Config, Found, IAm, Id, Ping, Rumour, WhoAreYou, name_of
-from fleet.part import FLEET, View
-from fleet.setup import FOUNDING, Member, Setup
-from fleet.timings import Timings
+from badgeryoke.cluster.raft.log import Log
+from badgeryoke.cluster.state_machine.part import FLEET, View
+from badgeryoke.cluster.timings import Timings
 
 TIMES = Timings()
 
--- a/tests/test_fleet_attacks.py
+++ b/tests/cluster/test_regressions.py
@@ -19,14 +19,10 @@
 import msgspec
 import pytest
 
-from badgeryoke.fleet.calls import read_call
-from badgeryoke.fleet.links import read as links_read
-from badgeryoke.fleet.store import NAME, TOLD, Disk, open_store
-from fleet import contracts, owed, promises
-from fleet import floor as floor_module
-from fleet import node as fleet_node
-from fleet import state as fleet_state
-from fleet.connections import (
+from badgeryoke.cluster import key_value, unreported_usage
+from badgeryoke.cluster import node as fleet_node
+from badgeryoke.cluster.bootstrap import Founding, Record
+from badgeryoke.cluster.connection_limits import (
     CLOSING_MS,
     LEASES,
     OVER,
@@ -39,8 +35,7 @@
     Unlimit,
     bucket,
 )
-from fleet.contracts import Capacity, Contracts, Floors, Lease, Terms, Window
-from fleet.errors import (
+from badgeryoke.cluster.errors import (
     BadCall,
     BadFrame,
     Crowded,
@@ -55,7 +50,7 @@
     UnknownOutcome,
     WrongState,
 )
-from fleet.events import (
+from badgeryoke.cluster.events import (
     Call,
     Change,
     Done,
@@ -75,14 +70,10 @@
     Stored,
     Tick,
 )
-from fleet.floor import Floor
-from fleet.founding import Founding, Record
-from fleet.groups import Enrol, Held, Moved, Placing, Replace, copies_for, group_of
-from fleet.invariants import Broken, Invariants, Rule
-from fleet.leases import MOST_GAP_MS, Divided
-from fleet.log import Log, encode_config
-from fleet.membership import DEAD, SUSPECT, Membership
-from fleet.messages import (
+from badgeryoke.cluster.invariants import Broken, Invariants, Rule
+from badgeryoke.cluster.leases.lease_pool import MOST_GAP_MS, Divided
+from badgeryoke.cluster.membership.protocol import DEAD, SUSPECT, Membership
+from badgeryoke.cluster.messages import (
     COMMAND,
     CONFIG,
     VERSION,
@@ -106,10 +97,16 @@
     WhoAreYou,
     name_of,
 )
-from fleet.node import LATE_MS, Member, Node, Setup
-from fleet.part import FLEET, Applied, Command, View
-from fleet.replica import MOST_BODY, MOST_HELD, MOST_SNAPSHOT, Replica, Role
-from fleet.rollout import (
+from badgeryoke.cluster.node import LATE_MS, Member, Node, Setup
+from badgeryoke.cluster.node_setup import FOUNDING
+from badgeryoke.cluster.placement.directory import Enrol, Held, Moved, Placing, Replace, copies_for, group_of
+from badgeryoke.cluster.raft.log import Log, encode_config
+from badgeryoke.cluster.raft.node import MOST_BODY, MOST_HELD, MOST_SNAPSHOT, Replica, Role
+from badgeryoke.cluster.reservations import contract
+from badgeryoke.cluster.reservations import lease_client as floor_module
+from badgeryoke.cluster.reservations.contract import Capacity, Contracts, Floors, Lease, Terms, Window
+from badgeryoke.cluster.reservations.lease_client import Floor
+from badgeryoke.cluster.rolling_restart.restart import (
     FRESH_MS,
     GRANT_MS,
     Duty,
@@ -123,20 +120,24 @@
     RollTurn,
     RollWave,
 )
-from fleet.rollout import State as RollState
-from fleet.setup import FOUNDING
-from fleet.state import GroupState, decode, encode
-from fleet.timings import Timings
-from lab.fleet.clock import UNIX_MS
-from lab.fleet.faults import Plan
-from lab.fleet.world import FleetWorld, Machine
-from tests.standins import HOST
-from tests.test_fleet_links import PING, SOON, pair
-from tests.test_fleet_links import play as links_play
-from tests.test_fleet_replica import THREE, TIMINGS, Kept, World, alone, sent, stored
-from tests.test_fleet_store import entries, opened
-from tests.test_fleet_store import put as store_put
-from tests.test_service import until
+from badgeryoke.cluster.rolling_restart.restart import State as RollState
+from badgeryoke.cluster.state_machine import machine as fleet_state
+from badgeryoke.cluster.state_machine.machine import GroupState, decode, encode
+from badgeryoke.cluster.state_machine.part import FLEET, Applied, Command, View
+from badgeryoke.cluster.timings import Timings
+from badgeryoke.gateway.cluster.admin_calls import read_call
+from badgeryoke.gateway.cluster.storage import NAME, TOLD, Disk, open_store
+from badgeryoke.gateway.cluster.transport import read as links_read
+from badgeryoke.testbed.cluster_simulation.clock import UNIX_MS
+from badgeryoke.testbed.cluster_simulation.fault_plan import Plan
+from badgeryoke.testbed.cluster_simulation.world import FleetWorld, Machine
+from tests.cluster.raft.test_raft import THREE, TIMINGS, Kept, World, alone, sent, stored
+from tests.gateway.cluster.test_storage import entries, opened
+from tests.gateway.cluster.test_storage import put as store_put
+from tests.gateway.cluster.test_transport import PING, SOON, pair
+from tests.gateway.cluster.test_transport import play as links_play
+from tests.gateway.test_service import until
+from tests.support.stand_ins import HOST
 
 EMPTY = msgspec.msgpack.encode([])
 
@@ -519,7 +520,7 @@
 
 
 def put(made: GroupState, index: int, id_: str, name: str, value: str, at_ms: float = 1.0) -> Applied:
-    return made.apply(0.0, index, encode(at_ms, promises.Promise(id=id_, name=name, value=value)))
+    return made.apply(0.0, index, encode(at_ms, key_value.Promise(id=id_, name=name, value=value)))
 
 
 def test_ids_answers_and_time_outlive_a_snapshot_and_the_oldest_id_goes_first(
@@ -537,12 +538,12 @@
     for one in (made, other):
         assert put(one, 9, "o3", "n", "v3").value == "v2"  # as the first time
         assert isinstance(put(one, 10, "o3", "n", "other").error, TakenId)
-        assert one.look(promises.PromiseRead(id="r", name="n")).value == "v3"
+        assert one.look(key_value.PromiseRead(id="r", name="n")).value == "v3"
 
 
 def test_a_lease_is_timed_from_where_its_entry_was_seen() -> None:
     made = state()
-    opened = contracts.Open(
+    opened = contract.Open(
         id="o",
         tenant="t",
         contract="c",
@@ -559,7 +560,7 @@
 
 
 def test_names_are_bounded_and_a_known_one_goes_on(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(promises, "MOST_BYTES", promises.LEAST_BYTES)
+    monkeypatch.setattr(key_value, "MOST_BYTES", key_value.LEAST_BYTES)
     made = state()
     assert put(made, 1, "1", "n", "v").value is None
     assert isinstance(put(made, 2, "2", "other", "v").error, Crowded)
@@ -568,29 +569,35 @@
 
 def test_a_batch_is_owed_until_it_is_told_and_is_given_out_once(monkeypatch: pytest.MonkeyPatch) -> None:
     def owe(id_: str, at_ms: float = 0.0) -> Applied:
-        return made.apply(at_ms, owed.Owe(id=id_, tenant="t", by="a/1", lines=(owed.Line("n", 3.0, 1000.0),)))
+        return made.apply(
+            at_ms,
+            unreported_usage.Owe(
+                id=id_, tenant="t", by="a/1", lines=(unreported_usage.Line("n", 3.0, 1000.0),)
+            ),
+        )
 
     def claim(batch: str, by: str) -> Applied:
-        return made.apply(1.0, owed.Claim(id=f"{batch}{by}", tenant="t", batch=batch, by=by))
+        return made.apply(1.0, unreported_usage.Claim(id=f"{batch}{by}", tenant="t", batch=batch, by=by))
 
     def told(batch: str, by: str, known: bool) -> Applied:
-        return made.apply(2.0, owed.OwedTold(id="t", tenant="t", batch=batch, by=by, known=known))
+        return made.apply(2.0, unreported_usage.OwedTold(id="t", tenant="t", batch=batch, by=by, known=known))
 
-    monkeypatch.setattr(owed, "MOST_BYTES", 2 * owed.LEAST_BYTES)
-    made = owed.Owed()
+    monkeypatch.setattr(unreported_usage, "MOST_BYTES", 2 * unreported_usage.LEAST_BYTES)
+    made = unreported_usage.Owed()
     assert owe("1").error is None and owe("2").error is None and isinstance(owe("3").error, Crowded)
     assert claim("1", "b/1").value == [["n", 3.0, 1000.0]]
-    again = owed.Owed()
+    again = unreported_usage.Owed()
     again.load(msgspec.msgpack.decode(msgspec.msgpack.encode(made.dump())))
     made = again
-    assert made.look(owed.OwedRead(id="r", tenant="t")).value == ["2"]  # what is being told is not offered
+    # what is being told is not offered
+    assert made.look(unreported_usage.OwedRead(id="r", tenant="t")).value == ["2"]
     assert isinstance(claim("1", "c/1").error, WrongState) and isinstance(
         told("1", "c/1", True).error, NotThere
     )
     assert told("1", "b/1", True).value and made.unknown == 0.0
     assert claim("2", "b/1").value and told("2", "b/1", False).value and made.unknown == 3.0
-    assert owe("4").error is None and owe("5", owed.LATE_MS + 1.0).error is None
-    assert made.unknown == 6.0 and made.look(owed.OwedRead(id="r", tenant="t")).value == ["5"]
+    assert owe("4").error is None and owe("5", unreported_usage.LATE_MS + 1.0).error is None
+    assert made.unknown == 6.0 and made.look(unreported_usage.OwedRead(id="r", tenant="t")).value == ["5"]
 
 
 def test_a_holder_keeps_no_more_than_it_had_and_only_its_present_lease_ends() -> None:
@@ -633,11 +640,11 @@
         for one in effects
         if isinstance(one, Send)
         and isinstance(one.message, Forward)
-        and isinstance(decode(one.message.body)[1], promises.Promise)
+        and isinstance(decode(one.message.body)[1], key_value.Promise)
     ]
 
 
-PUT = Call("t", promises.Promise(id="1", name="n", value="v"))
+PUT = Call("t", key_value.Promise(id="1", name="n", value="v"))
 ROOM = Applied(error=NoRoom("c", "full"))
 LATER = UnknownOutcome("g0", "the leader changed before it was committed")
 
@@ -738,7 +745,7 @@
         made.rules.check(Rule.ID_ONCE, False, lambda: "planted")
         return Applied("kept")
 
-    monkeypatch.setattr(promises.Promises, "apply", breaks)
+    monkeypatch.setattr(key_value.Promises, "apply", breaks)
     carry(made, 5001.0, made.handle(5001.0, 1e12, PUT))
     assert [group for group, replica in made.replicas.items() if replica.stopped is not None] == [at]
 
@@ -797,7 +804,7 @@
     world.network.cut(
         [(one, other) for name in rest for one, other in ((leader.name, name), (name, leader.name))]
     )
-    world.call(leader.name, promises.PromiseRead(id="r", name="n"), got.append)
+    world.call(leader.name, key_value.PromiseRead(id="r", name="n"), got.append)
     world.go(500.0)
     assert got == []
 
@@ -1234,7 +1241,7 @@
     asked = msgspec.convert({**TERMS, "rate": 60.0, "windows": [Window(*SPAN)]}, Terms)
     for command in (
         Capacity(id="1", units=units, reserve=0.0, floor=0.0),
-        contracts.Propose(id="2", contract="c", terms=asked),
+        contract.Propose(id="2", contract="c", terms=asked),
     ):
         assert made.apply(0.0, command).error is None
     return made
@@ -1245,21 +1252,21 @@
     held = made.held["c"]
     changed = msgspec.structs.replace(held.newest.terms, rate=30.0)
     assert (
-        made.apply(1.0, contracts.Change(id="3", contract="c", terms=changed, holds_from_ms=30_000.0)).error
+        made.apply(1.0, contract.Change(id="3", contract="c", terms=changed, holds_from_ms=30_000.0)).error
         is None
     )
-    made.apply(2.0, contracts.Told(id="4", contract="c", version=1))
+    made.apply(2.0, contract.Told(id="4", contract="c", version=1))
     assert (held.told, [one.number for one in held.versions]) == (1, [1, 2])
     assert made.promised(0.0, 1e6) == 60.0  # the dearer of the two counts
-    made.apply(3.0, contracts.Told(id="5", contract="c", version=2))
+    made.apply(3.0, contract.Told(id="5", contract="c", version=2))
     assert (held.told, [one.number for one in held.versions]) == (2, [2])
 
 
 def test_a_contract_is_armed_when_its_group_holds_it() -> None:
     made = admitted()
-    made.apply(15_000.0, contracts.Pass(id="p"))
+    made.apply(15_000.0, contract.Pass(id="p"))
     assert made.held["c"].state.value == "admitted"
-    made.apply(15_001.0, contracts.Told(id="3", contract="c", version=1))
+    made.apply(15_001.0, contract.Told(id="3", contract="c", version=1))
     assert made.held["c"].state.value == "armed"
 
 
@@ -1269,7 +1276,7 @@
     other = Contracts(Timings(), Invariants())
     other.load(msgspec.msgpack.decode(msgspec.msgpack.encode(made.dump())))
     assert (
-        other.apply(2.0, contracts.Told(id="4", contract="c", version=1)).error is None
+        other.apply(2.0, contract.Told(id="4", contract="c", version=1)).error is None
     )  # and no rule is broken
     assert other.available() == made.available() == 25.0
 
@@ -1280,7 +1287,7 @@
     for number, rate, holds_from in versions:
         made.apply(
             at_ms,
-            contracts.Open(
+            contract.Open(
                 id=f"o{number}",
                 tenant="t",
                 contract="c",
@@ -1327,7 +1334,7 @@
     assert (made.held["c"].version, made.held["c"].rate) == (2, 60.0)
     made.apply(
         1.0,
-        contracts.Open(
+        contract.Open(
             id="x", tenant="t", contract="d", version=4, rate=1.0, burst=0.0, times=(SPAN,), holds_from_ms=0.0
         ),
     )
@@ -1336,7 +1343,7 @@
 
 def test_parts_are_granted_within_a_window_and_end_behind_the_margin() -> None:
     made = opened_floors((1, 60.0, 0.0))
-    assert lease(made, SPAN[0] - contracts.EARLY_MS - 1.0, 1, 0, 60.0)["part"] == 0.0
+    assert lease(made, SPAN[0] - contract.EARLY_MS - 1.0, 1, 0, 60.0)["part"] == 0.0
     made = opened_floors((1, 60.0, 0.0))
     granted = lease(made, SPAN[0] - 1.0, 1, 0, 60.0)
     assert granted["part"] == 60.0 and granted["from_ms"] == SPAN[0]
@@ -1356,7 +1363,7 @@
     granted = lease(made, 20_000.0, 1, 0, 60.0)
     made.apply(
         20_001.0,
-        contracts.Open(
+        contract.Open(
             id="o2",
             tenant="t",
             contract="c",
@@ -1369,7 +1376,7 @@
     )
     renewed = lease(made, 20_002.0, 2, granted["number"], 60.0, 60.0)
     assert (renewed["until_ms"], renewed["then"]) == (25_000.0, min(rate / 60.0, 1.0))  # it shrinks by itself
-    made.apply(25_000.0, contracts.TurnFloor(id="turn", tenant="t", contract="c"))
+    made.apply(25_000.0, contract.TurnFloor(id="turn", tenant="t", contract="c"))
     other = Floors(Timings(), Invariants())
     other.load(msgspec.msgpack.decode(msgspec.msgpack.encode(made.dump())))
     for one in (made, other):
@@ -1393,18 +1400,18 @@
 def test_two_changes_never_overlap_and_a_tenants_contracts_are_bounded(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(contracts, "MOST_OF_TENANT", 1)
+    monkeypatch.setattr(contract, "MOST_OF_TENANT", 1)
     made = admitted()
     terms = made.held["c"].newest.terms
     first, second = (msgspec.structs.replace(terms, rate=rate) for rate in (30.0, 20.0))
     assert (
-        made.apply(1.0, contracts.Change(id="3", contract="c", terms=first, holds_from_ms=30_000.0)).error
+        made.apply(1.0, contract.Change(id="3", contract="c", terms=first, holds_from_ms=30_000.0)).error
         is None
     )
-    again = made.apply(2.0, contracts.Change(id="4", contract="c", terms=second, holds_from_ms=30_000.0))
+    again = made.apply(2.0, contract.Change(id="4", contract="c", terms=second, holds_from_ms=30_000.0))
     assert isinstance(again.error, WrongState)
     more = made.apply(
-        3.0, contracts.Propose(id="5", contract="d", terms=msgspec.structs.replace(terms, rate=1.0))
+        3.0, contract.Propose(id="5", contract="d", terms=msgspec.structs.replace(terms, rate=1.0))
     )
     assert isinstance(more.error, Crowded)
 
@@ -1418,8 +1425,8 @@
         asked = msgspec.convert({**TERMS, "rate": 60.0, "hall": of, "windows": [Window(*SPAN)]}, Terms)
         for command in (
             Capacity(id="1", units=100.0, reserve=0.0, floor=0.0),
-            contracts.Propose(id="2", contract="c", terms=asked),
-            contracts.Told(id="3", contract="c", version=1),
+            contract.Propose(id="2", contract="c", terms=asked),
+            contract.Told(id="3", contract="c", version=1),
         ):
             assert self.contracts.apply(0.0, command).error is None
 
@@ -1525,7 +1532,7 @@
         one
         for at in range(400)
         for one in made.turn(begin + 300.0 + 10.0 * at)
-        if isinstance(one, contracts.Short)
+        if isinstance(one, contract.Short)
     ]
     assert [(one.cause, one.units) for one in told] == [("load", 0.5)]
 
@@ -1566,7 +1573,7 @@
     terms = msgspec.convert({**TERMS, "windows": [Window(begin, begin + 1000.0)]}, Terms)
     got: list[Any] = []
     world.network.delays[leader.name, asker.name] = 700.0
-    world.call(asker.name, contracts.Propose(id="1", contract="c", terms=terms), got.append)
+    world.call(asker.name, contract.Propose(id="1", contract="c", terms=terms), got.append)
     world.calendar.run(world.calendar.now + 200.0)
     world.call(leader.name, Capacity(id="2", units=1000.0, reserve=0.0, floor=0.0), lambda result: None)
     world.calendar.run(world.calendar.now + 3000.0)
@@ -1576,30 +1583,33 @@
     assert not (taken and refused), f"{got[0]}, and the contract is held"
 
 
-def wide_promise(number: int, id_: str = "") -> promises.Promise:
+def wide_promise(number: int, id_: str = "") -> key_value.Promise:
     wide = "\U0001f600"
-    return promises.Promise(
-        id=id_ or f"{number:0128}", name=wide * 120 + f"{number:08}", value=wide * promises.MOST_VALUE
+    return key_value.Promise(
+        id=id_ or f"{number:0128}", name=wide * 120 + f"{number:08}", value=wide * key_value.MOST_VALUE
     )
 
 
-def wide_batch(number: int) -> owed.Owe:
-    return owed.Owe(
+def wide_batch(number: int) -> unreported_usage.Owe:
+    return unreported_usage.Owe(
         id=f"{number:0128}",
         tenant="t",
         by="a/00000000",
         lines=tuple(
-            owed.Line("\U0001f600" * 60 + f"{at:04}", 1.5, 60_000.0) for at in range(owed.MOST_LINES)
+            unreported_usage.Line("\U0001f600" * 60 + f"{at:04}", 1.5, 60_000.0)
+            for at in range(unreported_usage.MOST_LINES)
         ),
     )
 
 
-def narrow_batch(number: int) -> owed.Owe:
-    return owed.Owe(
+def narrow_batch(number: int) -> unreported_usage.Owe:
+    return unreported_usage.Owe(
         id=f"{number:0128}",
         tenant="t",
         by="a/00000000",
-        lines=tuple(owed.Line(f"{at:064}", 1.5, 60_000.0) for at in range(owed.MOST_LINES)),
+        lines=tuple(
+            unreported_usage.Line(f"{at:064}", 1.5, 60_000.0) for at in range(unreported_usage.MOST_LINES)
+        ),
     )
 
 
@@ -1629,7 +1639,9 @@
     made, taken, older, later = state(), state(), state(), state()
 
     def call(number: int) -> bytes:
-        return encode(0.0, promises.Promise(id=f"p{number}", name="n", value="v" * (300 + 97 * number % 400)))
+        return encode(
+            0.0, key_value.Promise(id=f"p{number}", name="n", value="v" * (300 + 97 * number % 400))
+        )
 
     for number in range(40):
         if number == 20:
@@ -1654,10 +1666,10 @@
     monkeypatch.setattr(fleet_state, "MOST_IDS", 1)
     made = state()
     made.apply(0.0, 1, encode(0.0, narrow_batch(1)))
-    claim = owed.Claim(id="c", tenant="t", batch=narrow_batch(1).id, by="b/1")
+    claim = unreported_usage.Claim(id="c", tenant="t", batch=narrow_batch(1).id, by="b/1")
     made.apply(0.0, 2, encode(0.0, claim))
     assert made.apply(0.0, 3, encode(0.0, narrow_batch(1))).value is True
-    other = owed.Claim(id="d", tenant="t", batch=claim.batch, by="c/1")
+    other = unreported_usage.Claim(id="d", tenant="t", batch=claim.batch, by="c/1")
     assert isinstance(made.apply(0.0, 4, encode(0.0, other)).error, WrongState)
 
 
@@ -1739,7 +1751,7 @@
     floors = Floors(Timings(), Invariants())
     floors.apply(
         1000.0,
-        contracts.Open(
+        contract.Open(
             id="o",
             tenant="t",
             contract="c",
@@ -1775,9 +1787,9 @@
 @pytest.mark.parametrize(
     ("part", "make", "most"),
     [
-        (promises.Promises, wide_promise, promises.MOST_BYTES),
-        (owed.Owed, wide_batch, owed.MOST_BYTES),
-        (owed.Owed, narrow_batch, owed.MOST_BYTES),
+        (key_value.Promises, wide_promise, key_value.MOST_BYTES),
+        (unreported_usage.Owed, wide_batch, unreported_usage.MOST_BYTES),
+        (unreported_usage.Owed, narrow_batch, unreported_usage.MOST_BYTES),
     ],
 )
 def test_a_full_part_holds_no_more_bytes_than_its_bound(
@@ -1794,9 +1806,9 @@
     assert isinstance(other.apply(0.0, make(number)).error, Crowded)
     size = len(msgspec.msgpack.encode(made.dump()))
     assert 0.8 * most < size <= most
-    if part is promises.Promises:
+    if part is key_value.Promises:
         for one in (made, other):
-            assert one.apply(0.0, promises.Promise(id="s", name=make(0).name, value="")).error is None
+            assert one.apply(0.0, key_value.Promise(id="s", name=make(0).name, value="")).error is None
             assert one.apply(0.0, make(number)).error is None
 
 
@@ -1804,11 +1816,11 @@
     ("part", "make", "most"),
     [
         (
-            promises.Promises,
-            lambda number: promises.Promise(id="1", name=f"{number:0128}", value="v" * 1024),
+            key_value.Promises,
+            lambda number: key_value.Promise(id="1", name=f"{number:0128}", value="v" * 1024),
             8192,
         ),
-        (owed.Owed, narrow_batch, 1024),
+        (unreported_usage.Owed, narrow_batch, 1024),
     ],
 )
 def test_what_is_one_byte_a_character_fills_a_part_to_its_number(
--- a/tests/test_fleet_drains.py
+++ b/tests/cluster/test_rolling_restart.py
@@ -14,13 +14,23 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
 
-from fleet import connections, rollout
-from fleet.connections import Ask, Connections, ConnEnd, ConnLeases, Keeper, Limit, Unlimit, bucket, process
-from fleet.errors import BadCall, UnknownOutcome, WrongState
-from fleet.invariants import Broken, Invariants, Rule
-from fleet.messages import name_of
-from fleet.part import Applied, Command, View
-from fleet.rollout import (
+from badgeryoke.cluster import connection_limits
+from badgeryoke.cluster.connection_limits import (
+    Ask,
+    Connections,
+    ConnEnd,
+    ConnLeases,
+    Keeper,
+    Limit,
+    Unlimit,
+    bucket,
+    process,
+)
+from badgeryoke.cluster.errors import BadCall, UnknownOutcome, WrongState
+from badgeryoke.cluster.invariants import Broken, Invariants, Rule
+from badgeryoke.cluster.messages import name_of
+from badgeryoke.cluster.rolling_restart import restart
+from badgeryoke.cluster.rolling_restart.restart import (
     Duty,
     Facts,
     Roll,
@@ -34,7 +44,8 @@
     State,
     least_ms,
 )
-from fleet.timings import Timings
+from badgeryoke.cluster.state_machine.part import Applied, Command, View
+from badgeryoke.cluster.timings import Timings
 
 STEP = 100.0
 DRIFT = 0.05
@@ -384,7 +395,7 @@
 
     assert ask(old, 0, 0, 4) == {"parts": [["a", 1, 4, 4, 1]], "old": []}
     assert ask(new, 0, 0, 5) == {"parts": [["a", 2, 1, 3, 0]], "old": [[old, "a", 1]]}
-    assert ask(old, 9, 0, 4)["parts"] == [["a", connections.OVER, 0, 0, 0]]
+    assert ask(old, 9, 0, 4)["parts"] == [["a", connection_limits.OVER, 0, 0, 0]]
     for by in (old, other, "g1/1#.4"):
         told = state.apply(
             0, ConnEnd(id="4", holder=old, bucket=where, ends=(("a", 1),), proof="reset", by=by)
@@ -437,9 +448,9 @@
     assert second.pools["a"].number and not second.pools["a"].part
     second.leaving = True
     second.want("a", 0)
-    assert polled(connections.SHORT_MS / 2, second) == 1 and second.empty
+    assert polled(connection_limits.SHORT_MS / 2, second) == 1 and second.empty
     second.want("a", 1)  # a late query
-    assert polled(connections.SHORT_MS / 2 + 1, second) == 1 and second.pools["a"].number
+    assert polled(connection_limits.SHORT_MS / 2 + 1, second) == 1 and second.pools["a"].number
 
 
 # Rolls
@@ -550,7 +561,7 @@
             self.late.remove(one)
             command = one[1]
             if (
-                not isinstance(command, rollout.RollWave)
+                not isinstance(command, restart.RollWave)
                 or command.stamp != self.state.rolls[command.roll].changes
             ):
                 self.take(
@@ -699,11 +710,11 @@
 
 def without_compare(patch: pytest.MonkeyPatch) -> None:
     patch.setattr(Rolls, "_current", lambda self, one, round_: True)
-    table = dict(rollout.STEPS)
-    for (_, step), after in rollout.STEPS.items():
-        if step is not rollout.Step.CANCEL:
-            table.update({(stand, step): after for stand in Stand if (stand, step) not in rollout.STEPS})
-    patch.setattr(rollout, "STEPS", table)
+    table = dict(restart.STEPS)
+    for (_, step), after in restart.STEPS.items():
+        if step is not restart.Step.CANCEL:
+            table.update({(stand, step): after for stand in Stand if (stand, step) not in restart.STEPS})
+    patch.setattr(restart, "STEPS", table)
 
 
 def without_majority(patch: pytest.MonkeyPatch) -> None:
@@ -832,7 +843,7 @@
 
 def test_a_copy_of_an_earlier_incarnation_is_none() -> None:
     """A machine that lost its disk and was back at once passed for whole until a leader had reported it."""
-    roll = Roll("r", RollAsk(id="1", roll="r"), gateways={"g0": rollout.Gateway()})
+    roll = Roll("r", RollAsk(id="1", roll="r"), gateways={"g0": restart.Gateway()})
     groups = {"G": ("g0/1", "g1/1", "g2/1")}
     for here, fault in (
         (("g0/1", "g1/1", "g2/1"), None),
@@ -860,7 +871,7 @@
         "r",
         RollAsk(id="1", roll="r", at_once=2),
         State.RUNNING,
-        gateways={name: rollout.Gateway(Stand.EMPTYING, told="empty") for name in ("g0", "g1")},
+        gateways={name: restart.Gateway(Stand.EMPTYING, told="empty") for name in ("g0", "g1")},
     )
     seen = view(
         0.0,
--- a/tests/test_watch.py
+++ b/tests/decisions/counter_health/test_detector.py
@@ -7,15 +7,15 @@
 
 import pytest
 
-from martenstep import interface as api
-from martenstep.decide import Gateway, Ledger, Meter, name_of
-from martenstep.watch import roll
-from martenstep.watch.bound import beyond_units, noticed_ms, stated
-from martenstep.watch.ceiling import CeilingGuard
-from martenstep.watch.guarded import Guarded
-from martenstep.watch.sight import Sight
-from martenstep.watch.state import HOLD_MS, TRANSITIONS, Belief, Sign, Watch
-from tests.helpers import CAPPED, PLAIN, SETTINGS, admit, request, server
+from badgeryoke.decisions import interface as api
+from badgeryoke.decisions.counter_health import presence_register
+from badgeryoke.decisions.counter_health.ceiling_guard import CeilingGuard
+from badgeryoke.decisions.counter_health.detector import HOLD_MS, TRANSITIONS, Belief, Sign, Watch
+from badgeryoke.decisions.counter_health.error_bound import beyond_units, noticed_ms, stated
+from badgeryoke.decisions.counter_health.monitored_policy import Guarded
+from badgeryoke.decisions.counter_health.visibility import Sight
+from badgeryoke.decisions.policy.engine import Gateway, Ledger, Meter, name_of
+from tests.support.samples import CAPPED, PLAIN, SETTINGS, admit, request, server
 
 T0 = 48_000_000.0  # an era begins here
 
@@ -31,16 +31,16 @@
     ],
 )
 def test_digits_of_a_total(total: float, expected: tuple[int, ...]) -> None:
-    assert roll.digits(total) == expected
+    assert presence_register.digits(total) == expected
 
 
 def test_an_era_has_no_more_beats_than_a_digit_holds() -> None:
     watch = Watch(2, 3, 50.0)
     for skew in (0.0, 17.0, 599.0):
         now, beats = T0 + skew, 0
-        while now < T0 + roll.ERA_MS:
+        while now < T0 + presence_register.ERA_MS:
             beats, now = beats + 1, watch.next_beat(now)
-        assert beats <= roll.TOP
+        assert beats <= presence_register.TOP
 
 
 def test_a_clock_that_is_set_back_makes_no_beats_one_behind_another() -> None:
@@ -51,12 +51,17 @@
     for call in watch.beat(now):
         watch.answer(now, call, True, 1.0, call.units)
     early = watch.next_beat(now) - 5.0
-    assert watch.beat(early) and watch.next_beat(early) > early + 0.25 * roll.BEAT_MS
+    assert watch.beat(early) and watch.next_beat(early) > early + 0.25 * presence_register.BEAT_MS
     assert not watch.beat(early) and not watch.beat(early + 20.0)
 
 
 def test_names_differ_by_kind_group_and_era_and_hold_in_the_counter() -> None:
-    names = {roll.name_of(kind, group, era) for kind in roll.Kind for group in range(34) for era in range(50)}
+    names = {
+        presence_register.name_of(kind, group, era)
+        for kind in presence_register.Kind
+        for group in range(34)
+        for era in range(50)
+    }
     assert len(names) == 2 * 34 * 50 and all(0 <= name < 2**63 for name in names)
 
 
@@ -141,7 +146,7 @@
     assert [watch.sight.part(0, 3) for watch in fleet.watches.values()] == pytest.approx(parts)
     assert sum(parts[group[0]] for group in groups) <= 1.0 + 1e-9
     fleet.sides = {}
-    fleet.run(HOLD_MS + 3 * roll.BEAT_MS)
+    fleet.run(HOLD_MS + 3 * presence_register.BEAT_MS)
     assert [watch.sight.part(0, 3) for watch in fleet.watches.values()] == [1.0] * 3
     fleet.run(2 * HOLD_MS)
     assert set(fleet.beliefs()) == {Belief.SOUND}
@@ -199,7 +204,7 @@
     fleet.run(1000.0)
     fleet.whole.clear()
     fleet.whole.update(kept if lost_ms == 1000.0 else {})
-    fleet.run(6 * roll.BEAT_MS)
+    fleet.run(6 * presence_register.BEAT_MS)
     epochs = {watch.sight.epoch for watch in fleet.watches.values()}
     assert len(epochs) == 1 and epochs != {0}
     assert Belief.SWAPPED in {belief for _, _, belief in fleet.seen}
@@ -230,7 +235,7 @@
     fleet.split((0,), (1, 2))
     fleet.run(2000.0)
     fleet.whole, fleet.sides = fleet.sides[1], {}
-    fleet.run(8 * roll.BEAT_MS)
+    fleet.run(8 * presence_register.BEAT_MS)
     epochs = {watch.sight.epoch for watch in fleet.watches.values()}
     assert len(epochs) == 1 and epochs != {0}
 
--- a/tests/test_watch_machine.py
+++ b/tests/decisions/counter_health/test_state_machine.py
@@ -12,10 +12,10 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from martenstep.watch import roll
-from martenstep.watch.bound import noticed_ms
-from martenstep.watch.state import HOLD_MS, Belief, Watch
-from tests.test_watch import Fleet
+from badgeryoke.decisions.counter_health import presence_register
+from badgeryoke.decisions.counter_health.detector import HOLD_MS, Belief, Watch
+from badgeryoke.decisions.counter_health.error_bound import noticed_ms
+from tests.decisions.counter_health.test_detector import Fleet
 
 GATEWAYS = 3
 SIDES = st.sampled_from((((0,), (1, 2)), ((0, 1), (2,)), ((0,), (1,), (2,)), ((1,), (0, 2))))
@@ -102,7 +102,7 @@
         if not hasattr(self, "fleet"):
             return
         self.fleet.deaf, self.fleet.sides = set(), {}
-        self.fleet.run(4 * roll.ERA_MS + 4 * HOLD_MS)
+        self.fleet.run(4 * presence_register.ERA_MS + 4 * HOLD_MS)
         assert set(self.fleet.beliefs()) == {Belief.SOUND}
         assert all(watch.sight.part(0, GATEWAYS) == 1.0 for watch in self.fleet.watches.values())
 
--- a/tests/test_watch_worlds.py
+++ b/tests/decisions/counter_health/test_worlds.py
@@ -9,10 +9,10 @@
 from hypothesis import HealthCheck, Phase, given, settings
 from hypothesis import strategies as st
 
-from lab.sim.counter import Answer, CounterModel
-from lab.sim.world import World, play
-from lab.text.scenario import Crowd, Fault, PlanText, Scenario, load
-from martenstep.watch.bound import CEILING_ERROR
+from badgeryoke.decisions.counter_health.error_bound import CEILING_ERROR
+from badgeryoke.testbed.scenario.model import Crowd, Fault, PlanText, Scenario, load
+from badgeryoke.testbed.simulation.counter import Answer, CounterModel
+from badgeryoke.testbed.simulation.world import World, play
 
 HARD = PlanText("distributor", 25.0, 45.0, 45.0, 80.0, 8.0)
 GROUPS = (((1,), (2, 3)), ((1, 2), (3,)), ((1,), (2,), (3,)), ((2,), (1, 3)))
--- a/tests/test_ten_times.py
+++ b/tests/decisions/test_cost_by_fleet_size.py
@@ -10,12 +10,12 @@
 
 import pytest
 
-from martenstep import interface as api
-from martenstep.decide import Gateway
-from martenstep.watch.ceiling import KEPT_MS, STEP_MS
-from martenstep.watch.guarded import Guarded
-from martenstep.watch.state import REACH, Watch
-from tests.helpers import CAPPED, SETTINGS, START, outcome, server
+from badgeryoke.decisions import interface as api
+from badgeryoke.decisions.counter_health.ceiling_guard import KEPT_MS, STEP_MS
+from badgeryoke.decisions.counter_health.detector import REACH, Watch
+from badgeryoke.decisions.counter_health.monitored_policy import Guarded
+from badgeryoke.decisions.policy.engine import Gateway
+from tests.support.samples import CAPPED, SETTINGS, START, outcome, server
 
 CUSTOMERS, REQUESTS = 20, 400
 
@@ -36,7 +36,7 @@
     def trace(frame: FrameType, event: str, _: object) -> Any:
         nonlocal lines
         lines += event == "line"
-        return trace if "martenstep" in frame.f_code.co_filename else None
+        return trace if "badgeryoke/decisions" in frame.f_code.co_filename else None
 
     totals: dict[int, float] = {}
     for n in range(REQUESTS):
--- a/tests/test_fleet.py
+++ b/tests/decisions/test_fleet_sums.py
@@ -8,12 +8,12 @@
 
 import pytest
 
-from badgeryoke.actor import Turns
-from badgeryoke.host_group import HostGroup
-from martenstep import interface as api
-from tests.fleet import Fleet
-from tests.helpers import server
-from tests.test_core import FakeLoop
+from badgeryoke.decisions import interface as api
+from badgeryoke.gateway.actor import Turns
+from badgeryoke.gateway.discovery.client import HostGroup
+from tests.gateway.test_dispatcher import FakeLoop
+from tests.support.policy_fleet import Fleet
+from tests.support.samples import server
 
 SERVERS = [server(n) for n in range(1, 61)]
 
--- a/tests/test_size.py
+++ b/tests/decisions/test_large_fleet.py
@@ -7,9 +7,9 @@
 
 import pytest
 
-from martenstep import interface as api
-from martenstep.decide import Gateway
-from tests.helpers import START, answer, gateway, only, outcome, request, server
+from badgeryoke.decisions import interface as api
+from badgeryoke.decisions.policy.engine import Gateway
+from tests.support.samples import START, answer, gateway, only, outcome, request, server
 
 FREE = api.Plan("plain")
 FLEET = 40
--- a/tests/test_plans.py
+++ b/tests/decisions/test_plan_schedule.py
@@ -9,8 +9,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from martenstep.plans.book import LEAD_MS, MOST_AHEAD, Fault, PlanBook, Version, same_book
-from martenstep.plans.carry import (
+from badgeryoke.decisions.plan_schedule.carry_over import (
     DEBT_MOST_MS,
     Figures,
     Held,
@@ -20,6 +19,14 @@
     carry_quota,
     room_of,
 )
+from badgeryoke.decisions.plan_schedule.schedule import (
+    LEAD_MS,
+    MOST_AHEAD,
+    Fault,
+    PlanBook,
+    Version,
+    same_book,
+)
 
 OLD = Figures(10.0, 40.0, 18.0, 60.0)
 LESS, MORE = Figures(5.0, 20.0, 9.0, 30.0), Figures(20.0, 80.0, 36.0, 120.0)
--- a/tests/test_reserved.py
+++ b/tests/decisions/test_priority_admission.py
@@ -10,54 +10,55 @@
 
 import pytest
 
-from badgeryoke.actor import Turns
-from badgeryoke.core import Core, Refused, Served
-from badgeryoke.execution import Query
-from badgeryoke.fleet.service import Service
-from fleet.floor import Reserved
-from fleet.node import Node
-from martenstep import decide, reserved
-from martenstep import interface as api
-from martenstep.watch.guarded import Guarded
-from tests import helpers
-from tests.helpers import START, only
-from tests.test_core import AIM, Bench, NoCounter
-from tests.test_fleet_service import section
-from tests.test_service import until
-
-
-def module(servers: int = 4, **changes: object) -> reserved.Gateway:
-    made = reserved.Gateway(replace(helpers.SETTINGS, **changes), 1)  # type: ignore[arg-type]
-    listed = tuple(helpers.server(number) for number in range(1, servers + 1))
+from badgeryoke.cluster.node import Node
+from badgeryoke.cluster.reservations.lease_client import Reserved
+from badgeryoke.decisions import interface as api
+from badgeryoke.decisions import priority_admission
+from badgeryoke.decisions.counter_health.monitored_policy import Guarded
+from badgeryoke.decisions.policy import engine
+from badgeryoke.gateway.actor import Turns
+from badgeryoke.gateway.attempt import Query
+from badgeryoke.gateway.cluster.service import Service
+from badgeryoke.gateway.dispatcher import Core, Refused, Served
+from tests.gateway.cluster.test_service import section
+from tests.gateway.test_dispatcher import AIM, Bench, NoCounter
+from tests.gateway.test_service import until
+from tests.support import samples
+from tests.support.samples import START, only
+
+
+def module(servers: int = 4, **changes: object) -> priority_admission.Gateway:
+    made = priority_admission.Gateway(replace(samples.SETTINGS, **changes), 1)  # type: ignore[arg-type]
+    listed = tuple(samples.server(number) for number in range(1, servers + 1))
     made.handle(START, api.Members(api.Scope.WARM_COPY, listed))
     return made
 
 
 def drawn(rid: str, rank: int = 1, **more: object) -> api.Request:
-    return replace(helpers.request(rid, **more), reserved=rank)  # type: ignore[arg-type]
+    return replace(samples.request(rid, **more), reserved=rank)  # type: ignore[arg-type]
 
 
 def test_with_the_quota_used_up_only_what_is_reserved_is_sent() -> None:
     made = module(has_counter=False, gateways=1)
-    asked = [made.handle(START, helpers.request(f"o{n}", spread=1)) for n in range(8)]
+    asked = [made.handle(START, samples.request(f"o{n}", spread=1)) for n in range(8)]
     assert sum(len(only(one, api.Send)) for one in asked) == 4  # the burst
     for n in range(8):
         assert only(made.handle(START + 1.0, drawn(f"r{n}", spread=1)), api.Send)
-    assert only(made.handle(START + 2.0, helpers.request("late", spread=1)), api.Refuse)
+    assert only(made.handle(START + 2.0, samples.request("late", spread=1)), api.Refuse)
     # It took nothing of the quota: that fills as if nothing had been sent beside it.
-    assert only(made.handle(START + 1010.0, helpers.request("filled", spread=1)), api.Send)
+    assert only(made.handle(START + 1010.0, samples.request("filled", spread=1)), api.Send)
 
 
 def test_an_open_limit_counts_no_reserved_attempt_and_holds_none() -> None:
     plan = api.Plan("plain", rate=100.0, burst=100.0, open_limit=1)
     made = module(has_counter=False, gateways=1, plans=(plan,))
     assert all(only(made.handle(START, drawn(f"r{n}", spread=1)), api.Send) for n in range(3))
-    assert only(made.handle(START, helpers.request("a", spread=1)), api.Send)
-    assert only(made.handle(START, helpers.request("b", spread=1)), api.Refuse)
+    assert only(made.handle(START, samples.request("a", spread=1)), api.Send)
+    assert only(made.handle(START, samples.request("b", spread=1)), api.Refuse)
     assert only(made.handle(START, drawn("r", spread=1)), api.Send)
 
 
-def full(made: reserved.Gateway, slow: bool) -> int:
+def full(made: priority_admission.Gateway, slow: bool) -> int:
     """Fill all places with reserved requests; gives how many went."""
     if slow:
         made._fleet._latency = 1.0
@@ -73,23 +74,23 @@
 def test_places_that_are_short_go_to_what_is_reserved_first() -> None:
     plenty = api.Plan("plain", rate=1000.0, burst=1000.0)
     made = module(1, has_counter=False, gateways=1, plans=(plenty,))
-    sent = [only(made.handle(START, helpers.request(f"o{n}", spread=1)), api.Send) for n in range(40)]
+    sent = [only(made.handle(START, samples.request(f"o{n}", spread=1)), api.Send) for n in range(40)]
     out = sum(map(len, sent))
     assert 5 <= out <= 8  # the limit of attempts out
     assert all(only(made.handle(START, drawn(f"r{n}", spread=1)), api.Send) for n in range(5))
     for n in range(2):  # two places are free again, and not for these
         made.handle(START + 1.0, api.Outcome(f"o{n}", 0, 1, api.Verdict.OK, 1.0, True))
-        assert only(made.handle(START + 1.0, helpers.request(f"again{n}", spread=1)), api.Refuse)
+        assert only(made.handle(START + 1.0, samples.request(f"again{n}", spread=1)), api.Refuse)
 
 
 def test_of_what_is_reserved_the_lower_class_goes_first_and_where_nothing_bears_it_all_goes() -> None:
     made = module(1, has_counter=False, gateways=1)
     sent = full(made, slow=True)
-    assert sent == int(decide.LIMIT_START * (1 + reserved.OVER)) + 4  # and the spare
+    assert sent == int(engine.LIMIT_START * (1 + priority_admission.OVER)) + 4  # and the spare
     [refused] = only(made.handle(START + 6.0, drawn("r", spread=1)), api.Refuse)
-    assert refused.cause == reserved.LOAD
+    assert refused.cause == priority_admission.LOAD
     for out, goes in ((2.6, True), (1.4, True), (3.9, False)):
-        made._fleet._out = int(out * (decide.LIMIT_START + decide.LIMIT_SPARE))
+        made._fleet._out = int(out * (engine.LIMIT_START + engine.LIMIT_SPARE))
         second = made.handle(START + 7.0, drawn(f"s{out}", rank=2, spread=1))
         first = made.handle(START + 7.0, drawn(f"t{out}", rank=1, spread=1))
         assert only(first, api.Send) and bool(only(second, api.Send)) is (goes and out < 2.5)
@@ -99,11 +100,11 @@
     made = module(has_counter=False, gateways=1)
     made._retries = 0.0
     [first] = only(made.handle(START, drawn("r", spread=1)), api.Send)
-    [second] = only(made.handle(START + 1.0, helpers.outcome(first, api.Verdict.FULL)), api.Send)
+    [second] = only(made.handle(START + 1.0, samples.outcome(first, api.Verdict.FULL)), api.Send)
     assert second.server != first.server and made._retries < 1
-    [plain] = only(made.handle(START, helpers.request("o", spread=1)), api.Send)
+    [plain] = only(made.handle(START, samples.request("o", spread=1)), api.Send)
     made._retries = 0.0
-    assert only(made.handle(START + 1.0, helpers.outcome(plain, api.Verdict.FULL)), api.Refuse)
+    assert only(made.handle(START + 1.0, samples.outcome(plain, api.Verdict.FULL)), api.Refuse)
 
 
 SECONDS = 15
@@ -114,27 +115,31 @@
 ) -> tuple[float, dict[bool, int], dict[bool, int]]:
     """Three gateways and one customer under a ceiling, with so many reserved requests and others a second:
     the lowest level of the ceiling's store, and what was asked and sent of each."""
-    plan, rng, step = helpers.CAPPED, random.Random(5), 10.0
-    made: list[Guarded | reserved.Gateway] = []
+    plan, rng, step = samples.CAPPED, random.Random(5), 10.0
+    made: list[Guarded | priority_admission.Gateway] = []
     for me in range(3):
-        settings = replace(helpers.SETTINGS, me=me, gateways=3)
-        one = Guarded(settings, me, reserved.Gateway) if watched else reserved.Gateway(settings, me)
-        one.handle(START, api.Members(api.Scope.WARM_COPY, tuple(helpers.server(n) for n in range(1, 9))))
+        settings = replace(samples.SETTINGS, me=me, gateways=3)
+        one = (
+            Guarded(settings, me, priority_admission.Gateway)
+            if watched
+            else priority_admission.Gateway(settings, me)
+        )
+        one.handle(START, api.Members(api.Scope.WARM_COPY, tuple(samples.server(n) for n in range(1, 9))))
         made.append(one)
     totals: dict[int, float] = {}
-    wakes: list[tuple[float, Guarded | reserved.Gateway, api.Event]] = []
+    wakes: list[tuple[float, Guarded | priority_admission.Gateway, api.Event]] = []
     level, lowest, asked, sent = plan.ceiling_burst, 0.0, {True: 0, False: 0}, {True: 0, False: 0}
     for tick in range(SECONDS * 100):
         now = START + tick * step
         level = min(level + plan.ceiling_rate * step / 1000.0, plan.ceiling_burst)
-        todo: list[tuple[Guarded | reserved.Gateway, api.Event]] = [
+        todo: list[tuple[Guarded | priority_admission.Gateway, api.Event]] = [
             (one, due) for at, one, due in wakes if at <= now
         ]
         wakes = [wake for wake in wakes if wake[0] > now]
         for kind, rate in ((True, first), (False, others)):
             for index in range(3):
                 if rng.random() < rate / 3 * step / 1000.0:
-                    made_up = helpers.request(f"{index}.{tick}.{kind}", plan="capped", spread=3)
+                    made_up = samples.request(f"{index}.{tick}.{kind}", plan="capped", spread=3)
                     todo.append((made[index if even else 0], replace(made_up, reserved=int(kind))))
                     asked[kind] += 1
         while todo:
@@ -144,7 +149,7 @@
                     level -= 1.0
                     lowest = min(lowest, level)
                     sent[action.id.endswith("True")] += 1
-                    todo.append((one, helpers.outcome(action, api.Verdict.OK, rtt=5.0)))
+                    todo.append((one, samples.outcome(action, api.Verdict.OK, rtt=5.0)))
                 elif isinstance(action, api.Count) and counted:
                     totals[action.name] = totals.get(action.name, 0.0) + action.units
                     todo.append((one, api.Total(action.name, api.Verdict.OK, 1.0, totals[action.name])))
@@ -159,7 +164,7 @@
 @pytest.mark.parametrize("counted", [True, False], ids=["counter", "counter gone"])
 def test_the_ceiling_holds_over_all_gateways(counted: bool, watched: bool) -> None:
     """Asked for five times of it, half of that reserved."""
-    plan = helpers.CAPPED
+    plan = samples.CAPPED
     lowest, _, sent = three(60.0, 60.0, counted, watched)
     assert lowest >= -plan.ceiling_slack
     assert sent[True] > 3 * sent[False]  # what is not reserved goes first
@@ -173,22 +178,22 @@
 
 
 def test_a_refusal_for_the_ceiling_says_so() -> None:
-    made = module(plans=(replace(helpers.CAPPED, ceiling_rate=5.0, ceiling_burst=5.0, ceiling_slack=0.0),))
+    made = module(plans=(replace(samples.CAPPED, ceiling_rate=5.0, ceiling_burst=5.0, ceiling_slack=0.0),))
     counts = only(made.handle(START, drawn("r", plan="capped")), api.Count)
-    [refused] = only(helpers.answer(made, START + 2.0, counts, {counts[0].name: 50.0}), api.Refuse)
-    assert refused.cause == reserved.CEILING
+    [refused] = only(samples.answer(made, START + 2.0, counts, {counts[0].name: 50.0}), api.Refuse)
+    assert refused.cause == priority_admission.CEILING
 
 
-def play(made: decide.Gateway) -> list[tuple[api.Action, ...]]:
+def play(made: engine.Gateway) -> list[tuple[api.Action, ...]]:
     rng, out, now = random.Random(3), [], START
     waiting: list[tuple[float, int, api.Event]] = []
     totals: dict[int, float] = {}
-    made.handle(now, api.Members(api.Scope.WARM_COPY, tuple(helpers.server(n) for n in range(1, 5))))
+    made.handle(now, api.Members(api.Scope.WARM_COPY, tuple(samples.server(n) for n in range(1, 5))))
     for number in range(3000):
         now += rng.expovariate(0.2)
         plan = rng.choice(["plain", "capped"])
         customer = rng.randrange(6) + 10 * (plan == "capped")
-        waiting.append((now, number, helpers.request(f"q{number}", plan=plan, customer=customer)))
+        waiting.append((now, number, samples.request(f"q{number}", plan=plan, customer=customer)))
         for due in sorted((one for one in waiting if one[0] <= now), key=lambda one: one[:2]):
             waiting.remove(due)
             actions = made.handle(now, due[2])
@@ -197,7 +202,7 @@
                 later = now + rng.uniform(1.0, 400.0)
                 if isinstance(action, api.Send):
                     verdict = rng.choice([api.Verdict.OK] * 8 + [api.Verdict.FULL, api.Verdict.TIMEOUT])
-                    waiting.append((later, number, helpers.outcome(action, verdict, rtt=later - now)))
+                    waiting.append((later, number, samples.outcome(action, verdict, rtt=later - now)))
                 elif isinstance(action, api.Count):
                     totals[action.name] = totals.get(action.name, 0.0) + action.units
                     waiting.append(
@@ -209,7 +214,10 @@
 
 
 def test_where_nothing_is_reserved_every_action_is_as_without() -> None:
-    plain, other = play(decide.Gateway(helpers.SETTINGS, 9)), play(reserved.Gateway(helpers.SETTINGS, 9))
+    plain, other = (
+        play(engine.Gateway(samples.SETTINGS, 9)),
+        play(priority_admission.Gateway(samples.SETTINGS, 9)),
+    )
     assert plain == other and {type(action) for one in plain for action in one} >= {
         api.Send,
         api.Refuse,
@@ -256,11 +264,11 @@
     def __init__(self, room: float = 0.0) -> None:
         super().__init__()
         plan = api.Plan("free", rate=0.001, burst=1.0)
-        made = replace(helpers.SETTINGS, has_counter=False, gateways=1, classes=(AIM,), plans=(plan,))
+        made = replace(samples.SETTINGS, has_counter=False, gateways=1, classes=(AIM,), plans=(plan,))
         self.core = Core(
             made, 1, Turns(self.loop), self.loop.clock, lambda _: self.link, NoCounter(), reserves=True
         )
-        self.core.members(api.Members(api.Scope.FULL, (helpers.server(1),)))
+        self.core.members(api.Members(api.Scope.FULL, (samples.server(1),)))
         self.stakes = StandIn(room)
         self.core.guarantee(self.stakes, lambda: self.loop.time() * 1000.0)
         self.ask()  # the burst; drawn, if there is room
@@ -323,7 +331,7 @@
     bench.stakes.due, bench.stakes.room = True, 1.0
     bench.loop.run(1.0)
     assert len(bench.answers) == 1 and bench.core.unanswered == 0
-    assert isinstance(bench.core._module, reserved.Gateway) and not bench.core._module._jobs
+    assert isinstance(bench.core._module, priority_admission.Gateway) and not bench.core._module._jobs
     bench.stakes.broken = True
     bench.ask()
     assert len(bench.answers) == 2 and isinstance(bench.answers[-1], Refused)
@@ -331,7 +339,7 @@
 
 def test_without_contracts_nothing_of_the_fleet_is_asked() -> None:
     bench = Bench()
-    assert bench.core._guarantee is None and type(bench.core._module) is decide.Gateway
+    assert bench.core._guarantee is None and type(bench.core._module) is engine.Gateway
     bench.core.submit(Query("x", "balance-check", "free", 5, 2000.0, 1.0, 1), bench.answers.append)
     bench.loop.run()
     assert bench.link.executions
--- a/tests/test_quota.py
+++ b/tests/decisions/test_quota.py
@@ -9,9 +9,9 @@
 
 import pytest
 
-from martenstep import interface as api
-from martenstep.decide import MASK, Gateway, Meter, name_of
-from tests.helpers import CAPPED, PLAIN, START, admit, answer, gateway, only, outcome, request
+from badgeryoke.decisions import interface as api
+from badgeryoke.decisions.policy.engine import MASK, Gateway, Meter, name_of
+from tests.support.samples import CAPPED, PLAIN, START, admit, answer, gateway, only, outcome, request
 
 
 def test_conforms_exactly_when_the_wait_is_over() -> None:
--- a/tests/test_random_settings.py
+++ b/tests/decisions/test_random_settings.py
@@ -9,9 +9,9 @@
 
 import pytest
 
-from martenstep import interface as api
-from martenstep.decide import Gateway
-from tests.helpers import SAFE, START, admit, answer, gateway, only, outcome, request
+from badgeryoke.decisions import interface as api
+from badgeryoke.decisions.policy.engine import Gateway
+from tests.support.samples import SAFE, START, admit, answer, gateway, only, outcome, request
 
 SERVERS = [api.Server(n, "ab"[n % 2], "std", n % 3, api.State.UP) for n in range(1, 10)]
 BAD = [v for v in api.Verdict if v not in (api.Verdict.OK, api.Verdict.TIMEOUT, api.Verdict.CANCELLED)]
--- a/tests/test_settings.py
+++ b/tests/decisions/test_settings_parser.py
@@ -17,16 +17,16 @@
 
 import pytest
 
-from badgeryoke.config import Config, ConfigError, read_config
-from badgeryoke.gateway import App
-from martenstep import interface as api
-from martenstep.settings import KEYS, settings_from, unknown
-from tests.standins import HOST, NOW_MS, Backend, Discovery, config, entry, query, roster
-from tests.test_front import ask, play
-from tests.test_reload import at
-from tests.test_service import until
+from badgeryoke.decisions import interface as api
+from badgeryoke.decisions.settings_parser import KEYS, settings_from, unknown
+from badgeryoke.gateway.application import App
+from badgeryoke.gateway.config.platform_file import Config, ConfigError, read_config
+from tests.gateway.resp.test_client_connection import ask, play
+from tests.gateway.test_reload import at
+from tests.gateway.test_service import until
+from tests.support.paths import ROOT
+from tests.support.stand_ins import HOST, NOW_MS, Backend, Discovery, config, entry, query, roster
 
-ROOT = Path(__file__).resolve().parent.parent
 # Every key of the page, with another customer's figures; each kind of class and plan that there can be.
 FULL: dict[str, Any] = {
     "charges": {key: 0.01 for key in KEYS["charges"].split()},
--- a/tests/test_wire.py
+++ b/tests/decisions/test_simulator_adapter.py
@@ -7,14 +7,13 @@
 import re
 import subprocess
 import sys
-from pathlib import Path
 from typing import Any
 
 import pytest
 
-from martenstep.wirehost import WireError, serve
+from badgeryoke.decisions.simulator_adapter import WireError, serve
+from tests.support.paths import ROOT
 
-ROOT = Path(__file__).resolve().parent.parent
 PARAMS: dict[str, Any] = {
     "instances": 2,
     "me": 0,
@@ -137,7 +136,7 @@
 
 def test_the_process_ends_plainly() -> None:
     good = subprocess.run(
-        [sys.executable, "-m", "martenstep.wirehost"],
+        [sys.executable, "-m", "badgeryoke.decisions.simulator_adapter"],
         input="BATCH t_ms=1\nYOUR_TURN\n",
         capture_output=True,
         text=True,
@@ -146,7 +145,7 @@
     )
     assert (good.returncode, good.stdout, good.stderr) == (0, "READY\n", "")
     bad = subprocess.run(
-        [sys.executable, "-m", "martenstep.wirehost"],
+        [sys.executable, "-m", "badgeryoke.decisions.simulator_adapter"],
         input="BATCH t_ms=soon\n",
         capture_output=True,
         text=True,
@@ -154,7 +153,7 @@
         check=False,
     )
     assert bad.returncode != 0
-    assert bad.stderr.strip() == "martenstep: line 1: field t_ms: expected a number, got 'soon'"
+    assert bad.stderr.strip() == "badgeryoke: line 1: field t_ms: expected a number, got 'soon'"
 
 
 def test_one_process_acts_as_three() -> None:
--- a/tests/test_cold_ramp.py
+++ b/tests/decisions/test_slow_start.py
@@ -9,10 +9,10 @@
 
 import pytest
 
-from martenstep import interface as api
-from martenstep.decide import Gateway
-from tests.fleet import Fleet
-from tests.helpers import server
+from badgeryoke.decisions import interface as api
+from badgeryoke.decisions.policy.engine import Gateway
+from tests.support.policy_fleet import Fleet
+from tests.support.samples import server
 
 
 class Site(NamedTuple):
--- a/tests/test_fleet_pools.py
+++ b/tests/gateway/cluster/test_connection_leases.py
@@ -16,25 +16,27 @@
 
 import pytest
 
-from badgeryoke.actor import Turns
-from badgeryoke.diameter.peer import Identity
-from badgeryoke.diameter.server_link import DiameterServerLink
-from badgeryoke.execution import End, Execution, Query
-from badgeryoke.fleet.pools import GONE_MS, SIFT_MS, Pools
-from badgeryoke.fleet.service import boot_ms
-from badgeryoke.fleet.settings import Fleet, Servers
-from badgeryoke.operators import Operators
-from badgeryoke.resp.server_link import RespServerLink
-from fleet.connections import Ask, Connections, ConnLeases, Limit, bucket, process
-from fleet.errors import NoLeader
-from fleet.invariants import Invariants
-from fleet.node import Member, Node, Setup
-from fleet.part import FLEET, Applied, View
-from fleet.rollout import RollRead
-from fleet.state import GroupState
-from fleet.timings import Timings
-from martenstep.interface import Verdict
-from tests.standins import (
+from badgeryoke.cluster.connection_limits import Ask, Connections, ConnLeases, Limit, bucket, process
+from badgeryoke.cluster.errors import NoLeader
+from badgeryoke.cluster.invariants import Invariants
+from badgeryoke.cluster.node import Member, Node, Setup
+from badgeryoke.cluster.rolling_restart.restart import RollRead
+from badgeryoke.cluster.state_machine.machine import GroupState
+from badgeryoke.cluster.state_machine.part import FLEET, Applied, View
+from badgeryoke.cluster.timings import Timings
+from badgeryoke.decisions.interface import Verdict
+from badgeryoke.gateway.actor import Turns
+from badgeryoke.gateway.attempt import End, Execution, Query
+from badgeryoke.gateway.cluster.connection_leases import GONE_MS, SIFT_MS, Pools
+from badgeryoke.gateway.cluster.service import boot_ms
+from badgeryoke.gateway.cluster.settings import Fleet, Servers
+from badgeryoke.gateway.config.operators_file import Operators
+from badgeryoke.gateway.diameter.peer import Identity
+from badgeryoke.gateway.diameter.upstream_connection import DiameterServerLink
+from badgeryoke.gateway.resp.upstream_connection import RespServerLink
+from tests.gateway.cluster.test_service import section
+from tests.gateway.resp.test_client_connection import play
+from tests.support.stand_ins import (
     HOST,
     Backend,
     DiameterServer,
@@ -46,8 +48,6 @@
     query,
     roster,
 )
-from tests.test_fleet_service import section
-from tests.test_front import play
 
 TIMINGS = Timings(lease_ms=120.0, heartbeat_ms=10.0, election_ms=50.0)  # 600 ms for connections
 IDLE_MS, MOST = 200.0, 4
--- a/tests/test_fleet_service.py
+++ b/tests/gateway/cluster/test_service.py
@@ -19,16 +19,8 @@
 import msgspec
 import pytest
 
-from badgeryoke.config import ConfigError
-from badgeryoke.fleet import service as service_module
-from badgeryoke.fleet.calls import line_of, read_call
-from badgeryoke.fleet.service import Service, setup_of
-from badgeryoke.fleet.settings import Fleet
-from badgeryoke.fleet.store import Disk, StoreWriter, open_store
-from badgeryoke.gateway import App
-from badgeryoke.operators import Operators, OperatorsError, read_operators
-from fleet import errors
-from fleet.events import (
+from badgeryoke.cluster import errors
+from badgeryoke.cluster.events import (
     Call,
     Done,
     Entries,
@@ -43,14 +35,22 @@
     Stored,
     Tick,
 )
-from fleet.invariants import Rule
-from fleet.messages import NOTHING, Config, Entry, Vote
-from fleet.part import Applied
-from fleet.promises import Promise
-from tests.standins import HOST, Backend, Discovery, config, connect, entry, gateway, roster
-from tests.test_service import until
-
-ROOT = Path(__file__).resolve().parent.parent
+from badgeryoke.cluster.invariants import Rule
+from badgeryoke.cluster.key_value import Promise
+from badgeryoke.cluster.messages import NOTHING, Config, Entry, Vote
+from badgeryoke.cluster.state_machine.part import Applied
+from badgeryoke.gateway.application import App
+from badgeryoke.gateway.cluster import service as service_module
+from badgeryoke.gateway.cluster.admin_calls import line_of, read_call
+from badgeryoke.gateway.cluster.service import Service, setup_of
+from badgeryoke.gateway.cluster.settings import Fleet
+from badgeryoke.gateway.cluster.storage import Disk, StoreWriter, open_store
+from badgeryoke.gateway.config.operators_file import Operators, OperatorsError, read_operators
+from badgeryoke.gateway.config.platform_file import ConfigError
+from tests.gateway.test_service import until
+from tests.support.paths import ROOT
+from tests.support.stand_ins import HOST, Backend, Discovery, config, connect, entry, gateway, roster
+
 MEMBERS = "\n".join(
     f'[[fleet.members]]\nname = "{name}"\nhall = "h"\naddress = "{HOST}:{port}"'
     for name, port in (("a", 7001), ("b", 7002), ("c", 7003))
@@ -140,10 +140,10 @@
 
 def test_a_gateway_without_a_fleet_loads_nothing_of_it() -> None:
     script = (
-        "import sys, pathlib, badgeryoke.__main__, badgeryoke.management.front; "
-        "from badgeryoke.operators import read_operators; "
+        "import sys, pathlib, badgeryoke.__main__, badgeryoke.gateway.admin.server; "
+        "from badgeryoke.gateway.config.operators_file import read_operators; "
         "print(read_operators(pathlib.Path('deploy/badgeryoke.toml')).fleet, [m for m in sys.modules "
-        "if 'fleet' in m.split('.') or m in ('sqlite3', 'xxhash')])"
+        "if 'cluster' in m.split('.') or m in ('sqlite3', 'xxhash')])"
     )
     said = subprocess.run(
         [sys.executable, "-c", script], cwd=ROOT, capture_output=True, text=True, check=True
--- a/tests/test_fleet_store.py
+++ b/tests/gateway/cluster/test_storage.py
@@ -12,10 +12,10 @@
 
 import pytest
 
-from badgeryoke.fleet.store import MOST_KEPT, NAME, TOLD, Disk, StoreWriter, open_store
-from fleet import errors
-from fleet.events import Entries, Forget, HardState, Record, Saved, Snapshot, Store, Stored
-from fleet.messages import COMMAND, Config, Entry
+from badgeryoke.cluster import errors
+from badgeryoke.cluster.events import Entries, Forget, HardState, Record, Saved, Snapshot, Store, Stored
+from badgeryoke.cluster.messages import COMMAND, Config, Entry
+from badgeryoke.gateway.cluster.storage import MOST_KEPT, NAME, TOLD, Disk, StoreWriter, open_store
 
 CONFIG = Config(("a/1", "b/1", "c/1"))
 
@@ -319,7 +319,7 @@
 def test_a_disk_that_does_not_keep_up_is_given_up_at_the_bound(
     disk: Disk, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr("badgeryoke.fleet.store.MOST_WAITING", 10_000)
+    monkeypatch.setattr("badgeryoke.gateway.cluster.storage.MOST_WAITING", 10_000)
     gate = threading.Event()
     monkeypatch.setattr(Disk, "write", lambda self, batch: gate.wait(10))
 
--- a/tests/test_fleet_links.py
+++ b/tests/gateway/cluster/test_transport.py
@@ -15,11 +15,21 @@
 import msgspec
 import pytest
 
-from badgeryoke.fleet.links import Bounds, Links, Peer, frame, read
-from fleet import errors
-from fleet.messages import COMMAND, VERSION, AnyMessage, Append, Entry, Envelope, Ping, Rumour, Vote
-from tests.standins import HOST
-from tests.test_service import until
+from badgeryoke.cluster import errors
+from badgeryoke.cluster.messages import (
+    COMMAND,
+    VERSION,
+    AnyMessage,
+    Append,
+    Entry,
+    Envelope,
+    Ping,
+    Rumour,
+    Vote,
+)
+from badgeryoke.gateway.cluster.transport import Bounds, Links, Peer, frame, read
+from tests.gateway.test_service import until
+from tests.support.stand_ins import HOST
 
 SOON = Bounds(connect_s=0.2, hello_s=0.2, stall_s=0.2, ask_s=0.0, again_least_s=0.01, again_most_s=0.05)
 PING = Ping(1, "b/1", (Rumour("c/1", 1, 3, "a/1"),))
