--- a/tests/test_diameter.py
+++ b/tests/gateway/diameter/test_diameter.py
@@ -12,16 +12,19 @@
 import pytest
 from tornado.iostream import IOStream
 
-from badgeryoke.actor import Turns, WallClock
-from badgeryoke.config import Config
-from badgeryoke.diameter import client_link, server_link
-from badgeryoke.diameter.peer import Identity as PeerIdentity
-from badgeryoke.diameter.peer import Peer, State
-from badgeryoke.diameter.server_link import DiameterServerLink
-from badgeryoke.execution import Execution, Query
-from badgeryoke.gateway import App
-from martenstep.interface import Verdict
-from tests.standins import (
+from badgeryoke.decisions.interface import Verdict
+from badgeryoke.gateway.actor import Turns, WallClock
+from badgeryoke.gateway.application import App
+from badgeryoke.gateway.attempt import Execution, Query
+from badgeryoke.gateway.config.platform_file import Config
+from badgeryoke.gateway.diameter import client_connection, upstream_connection
+from badgeryoke.gateway.diameter.peer import Identity as PeerIdentity
+from badgeryoke.gateway.diameter.peer import Peer, State
+from badgeryoke.gateway.diameter.upstream_connection import DiameterServerLink
+from tests.gateway.resp.test_client_connection import ask, play
+from tests.gateway.test_dispatcher import FakeLoop
+from tests.gateway.test_service import until
+from tests.support.stand_ins import (
     KEYED,
     NOW_MS,
     SAFE,
@@ -47,9 +50,6 @@
     read_reply,
     roster,
 )
-from tests.test_core import FakeLoop
-from tests.test_front import ask, play
-from tests.test_service import until
 
 Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 
@@ -525,7 +525,7 @@
         idle_ms=100.0,
         watchdog_s=30.0,
     )
-    connection = server_link._Connection(cast(IOStream, Stuck()), owner, loop, 30.0)
+    connection = upstream_connection._Connection(cast(IOStream, Stuck()), owner, loop, 30.0)
     connection.state = State.OPEN
     ends: dict[str, Verdict] = {}
     for name in ("first", "second", "last"):
@@ -542,7 +542,7 @@
 def test_more_requests_than_a_connection_may_have_are_told_when_to_come_back(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(client_link, "MOST_OUT", 1)
+    monkeypatch.setattr(client_connection, "MOST_OUT", 1)
 
     async def test(app: App, node: DiameterServer) -> None:
         peer = await open_peer(app)
--- a/tests/test_discovery_clock.py
+++ b/tests/gateway/discovery/test_notification_deadline.py
@@ -13,12 +13,12 @@
 
 import pytest
 
-from badgeryoke import host_group
-from badgeryoke.actor import Turns
-from badgeryoke.host_group import HostGroup, Roster
-from martenstep.interface import Members, Scope, State
-from tests.standins import HOST, Standin, entry
-from tests.test_fleet import most_in_a_window
+from badgeryoke.decisions.interface import Members, Scope, State
+from badgeryoke.gateway.actor import Turns
+from badgeryoke.gateway.discovery import client as discovery_client
+from badgeryoke.gateway.discovery.client import HostGroup, Roster
+from tests.decisions.test_fleet_sums import most_in_a_window
+from tests.support.stand_ins import HOST, Standin, entry
 
 LOOK_S = 0.0001  # of real time: loopback delivers what was written before the writing is over
 
@@ -155,8 +155,12 @@
     )
     pause, again = max(group.pause() for _ in range(30)), group.pause(silent=True)
     behind_silence, later = group.pause(), group.pause()
-    probe, wait, whole = host_group.PROBE_MS / 1000, host_group.WAIT_MS / 1000, host_group.WHOLE_S
-    silent = host_group.SILENT_S
+    probe, wait, whole = (
+        discovery_client.PROBE_MS / 1000,
+        discovery_client.WAIT_MS / 1000,
+        discovery_client.WHOLE_S,
+    )
+    silent = discovery_client.SILENT_S
     refused_then_given_up = pause + (probe + whole) + again
     trickled = (wait + whole) + again
     silent_twice = (wait + silent) + again + (probe + silent) + again
--- a/tests/test_discovery_answers.py
+++ b/tests/gateway/discovery/test_responses.py
@@ -13,12 +13,13 @@
 
 import pytest
 
-from badgeryoke import actor, host_group
-from badgeryoke.host_group import HostGroup, Response, Roster, read_roster
-from martenstep.interface import Scope
-from tests.standins import HOST, Standin, config, entry, gateway, query, resp
-from tests.test_discovery_clock import Watching, play
-from tests.test_front import ask
+from badgeryoke.decisions.interface import Scope
+from badgeryoke.gateway import actor
+from badgeryoke.gateway.discovery import client as discovery_client
+from badgeryoke.gateway.discovery.client import HostGroup, Response, Roster, read_roster
+from tests.gateway.discovery.test_notification_deadline import Watching, play
+from tests.gateway.resp.test_client_connection import ask
+from tests.support.stand_ins import HOST, Standin, config, entry, gateway, query, resp
 
 LIST = json.dumps({"version": 7, "full": True, "servers": [entry("a", 1)]}).encode()
 LATER = json.dumps({"version": 8, "full": True, "servers": [entry("b", 2)]}).encode()
@@ -223,7 +224,7 @@
             dialled.append(loop.time())
             return actor.dial(*given)
 
-        monkeypatch.setattr(host_group, "dial", dial)
+        monkeypatch.setattr(discovery_client, "dial", dial)
         with socket.create_server((HOST, 0), backlog=0) as deaf, contextlib.ExitStack() as full:
             for _ in range(3):  # nobody accepts: the queue is full
                 made = full.enter_context(socket.socket())
--- a/tests/test_front.py
+++ b/tests/gateway/resp/test_client_connection.py
@@ -15,12 +15,14 @@
 import pytest
 from tornado.iostream import IOStream
 
-from badgeryoke.actor import Turns, WallClock
-from badgeryoke.execution import Query
-from badgeryoke.gateway import App
-from badgeryoke.resp.client_link import MOST_WAITING, ClientLink
-from martenstep import interface as api
-from tests.standins import (
+from badgeryoke.decisions import interface as api
+from badgeryoke.gateway.actor import Turns, WallClock
+from badgeryoke.gateway.application import App
+from badgeryoke.gateway.attempt import Query
+from badgeryoke.gateway.resp.client_connection import MOST_WAITING, ClientLink
+from tests.decisions.test_simulator_adapter import PARAMS
+from tests.support.paths import ROOT
+from tests.support.stand_ins import (
     Backend,
     Counter,
     Discovery,
@@ -34,7 +36,6 @@
     resp,
     roster,
 )
-from tests.test_wire import PARAMS
 
 
 def play(test: Callable[[], Awaitable[None]]) -> None:
@@ -321,8 +322,8 @@
         stream = IOStream(ours)
         link = ClientLink(
             stream,
-            core,
-            Turns(asyncio.get_running_loop()),  # type: ignore[arg-type]
+            core,  # type: ignore[arg-type]
+            Turns(asyncio.get_running_loop()),
             lambda: True,
             lambda _: None,
         )
@@ -356,7 +357,7 @@
         "known": {"version": 1, "full": True, "servers": [entry("a", 1)]},
     }
     (tmp_path / "config.json").write_text(json.dumps(raw))
-    root = Path(__file__).resolve().parent.parent
+    root = ROOT
     told = {**os.environ, "LB_CONFIG": str(tmp_path / "config.json")}
     with subprocess.Popen(
         [sys.executable, "-m", "badgeryoke"], cwd=root, stderr=subprocess.PIPE, env=told, text=True
--- a/tests/test_client_ends.py
+++ b/tests/gateway/resp/test_connection_close.py
@@ -25,16 +25,20 @@
 from tornado.ioloop import IOLoop
 from tornado.iostream import IOStream
 
-from badgeryoke import gateway as gateway_module
-from badgeryoke.actor import Turns, WallClock
-from badgeryoke.core import Answer, Served
-from badgeryoke.drain import Event
-from badgeryoke.execution import Query
-from badgeryoke.gateway import App
-from badgeryoke.resp import front as front_module
-from badgeryoke.resp.client_link import MOST_WAITING, READ_AT_ONCE, ClientLink
-from badgeryoke.resp.front import COMMAND_S, UNREAD_S, RespFront
-from tests.standins import (
+from badgeryoke.gateway import application as gateway_module
+from badgeryoke.gateway.actor import Turns, WallClock
+from badgeryoke.gateway.application import App
+from badgeryoke.gateway.attempt import Query
+from badgeryoke.gateway.dispatcher import Answer, Served
+from badgeryoke.gateway.graceful_shutdown import Event
+from badgeryoke.gateway.resp import listener as front_module
+from badgeryoke.gateway.resp.client_connection import MOST_WAITING, READ_AT_ONCE, ClientLink
+from badgeryoke.gateway.resp.listener import COMMAND_S, UNREAD_S, RespFront
+from tests.decisions.test_simulator_adapter import PARAMS
+from tests.gateway.resp.test_client_connection import ask, play
+from tests.gateway.test_service import until
+from tests.support.paths import ROOT
+from tests.support.stand_ins import (
     HOST,
     Backend,
     Counter,
@@ -49,9 +53,6 @@
     resp,
     roster,
 )
-from tests.test_front import ask, play
-from tests.test_service import until
-from tests.test_wire import PARAMS
 
 LAST = b"*1\r\n$4\r\nlast\r\n"  # a backend's answer
 
@@ -146,8 +147,8 @@
         stream = IOStream(ours)
         link = ClientLink(
             stream,
-            core,
-            Turns(asyncio.get_running_loop()),  # type: ignore[arg-type]
+            core,  # type: ignore[arg-type]
+            Turns(asyncio.get_running_loop()),
             lambda: True,
             lambda _: None,
         )
@@ -678,7 +679,7 @@
                 sys.executable,
                 "-m",
                 "badgeryoke",
-                cwd=Path(__file__).resolve().parent.parent,
+                cwd=ROOT,
                 env={**os.environ, "LB_CONFIG": str(tmp_path / "config.json")},
                 stderr=subprocess.PIPE,
                 preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (64, 64)),
--- a/tests/test_repeats.py
+++ b/tests/gateway/resp/test_retries.py
@@ -18,19 +18,19 @@
 
 import pytest
 
-from badgeryoke import actor
-from badgeryoke.actor import Turns, new_socket
-from badgeryoke.core import Answer, Core
-from badgeryoke.execution import End, Execution, Query
-from badgeryoke.resp import server_link
-from badgeryoke.resp.server_link import BEGUN_MS, RespServerLink
-from martenstep import interface as api
-from martenstep.decide import Gateway
-from martenstep.interface import Verdict
-from tests.standins import HOST, NOW_MS, Counter, connect, one_gateway, query, settings
-from tests.test_core import KEYED, UNSAFE, NoCounter
-from tests.test_front import ask, play
-from tests.test_service import until
+from badgeryoke.decisions import interface as api
+from badgeryoke.decisions.interface import Verdict
+from badgeryoke.decisions.policy.engine import Gateway
+from badgeryoke.gateway import actor
+from badgeryoke.gateway.actor import Turns, new_socket
+from badgeryoke.gateway.attempt import End, Execution, Query
+from badgeryoke.gateway.dispatcher import Answer, Core
+from badgeryoke.gateway.resp import upstream_connection
+from badgeryoke.gateway.resp.upstream_connection import BEGUN_MS, RespServerLink
+from tests.gateway.resp.test_client_connection import ask, play
+from tests.gateway.test_dispatcher import KEYED, UNSAFE, NoCounter
+from tests.gateway.test_service import until
+from tests.support.stand_ins import HOST, NOW_MS, Counter, connect, one_gateway, query, settings
 
 LINGER_0 = struct.pack("ii", 1, 0)
 GOOD = b"*1\r\n$4\r\ngood\r\n"
@@ -162,13 +162,13 @@
     async def test() -> None:
         async with node() as at:
             made = await at.idle()
-            real = server_link.encode
+            real = upstream_connection.encode
 
             def crossed(*args: Any) -> bytes:
                 reset(made)
                 return real(*args)
 
-            monkeypatch.setattr(server_link, "encode", crossed)
+            monkeypatch.setattr(upstream_connection, "encode", crossed)
             at.start("r1")
             await until(lambda: at.ends)
             assert at.ends == [("r1", Verdict.CONNECT_FAILED, b"")]
@@ -347,7 +347,7 @@
 def test_a_second_answer_that_comes_late_is_no_other_attempts(monkeypatch: pytest.MonkeyPatch) -> None:
     """Where no other connection was idle, one was used at once after its answer: a second copy that came some
     milliseconds later was taken for the next request's."""
-    monkeypatch.setattr(server_link, "REST_S", 60.0, raising=False)
+    monkeypatch.setattr(upstream_connection, "REST_S", 60.0, raising=False)
 
     async def test() -> None:
         async with node() as at:
@@ -566,12 +566,12 @@
                 return dial(*args)
 
             with pytest.MonkeyPatch.context() as patch:
-                patch.setattr(server_link, "dial", counted)
+                patch.setattr(upstream_connection, "dial", counted)
                 for n in range(many):
                     made.start(f"r{n}")
                 await until(lambda: len(made.ends) == many)
             assert {end[1] for end in made.ends} == {Verdict.CONNECT_FAILED}
-            assert len(dials) <= server_link.MOST_OPENING and not made.link._opening
+            assert len(dials) <= upstream_connection.MOST_OPENING and not made.link._opening
 
     play(test)
 
--- a/tests/test_cli.py
+++ b/tests/gateway/test_cli.py
@@ -13,10 +13,10 @@
 from click.testing import CliRunner
 
 from badgeryoke.cli import main
-from badgeryoke.logs import set_up
-from badgeryoke.operators import Operators, OperatorsError, read_operators
+from badgeryoke.gateway.config.operators_file import Operators, OperatorsError, read_operators
+from badgeryoke.gateway.log_format import set_up
+from tests.support.paths import ROOT
 
-ROOT = Path(__file__).resolve().parent.parent
 main._laboratory()
 
 
@@ -103,10 +103,10 @@
     before = root.handlers[:], root.level
     try:
         set_up("json", "info", stream)
-        logging.getLogger("badgeryoke.core").warning(
+        logging.getLogger("badgeryoke.gateway.dispatcher").warning(
             "counter believed %s", "split", extra={"fields": {"hidden": [1]}}
         )
-        logging.getLogger("badgeryoke.core").debug("not shown")
+        logging.getLogger("badgeryoke.gateway.dispatcher").debug("not shown")
     finally:
         root.handlers[:], root.level = before
     [line] = map(json.loads, stream.getvalue().splitlines())
@@ -118,7 +118,8 @@
     script = (
         "import sys, badgeryoke.__main__; "
         "print([m for m in sys.modules if m.split('.')[0] in "
-        "('click', 'lark', 'rich', 'jinja2', 'structlog', 'lab') or 'watch' in m])"
+        "('click', 'lark', 'rich', 'jinja2', 'structlog') "
+        "or 'counter_health' in m or m.startswith(('badgeryoke.testbed', 'badgeryoke.cli'))])"
     )
     said = subprocess.run(
         [sys.executable, "-c", script], cwd=ROOT, capture_output=True, text=True, check=True
--- a/tests/test_dialling.py
+++ b/tests/gateway/test_connecting.py
@@ -10,13 +10,13 @@
 import pytest
 from tornado.iostream import StreamClosedError
 
-from badgeryoke.actor import Turns, dial, on_close
-from badgeryoke.counter import CounterLink
-from badgeryoke.execution import End, Execution, Query, Stage
-from badgeryoke.resp.server_link import RespServerLink
-from martenstep.interface import Total, Verdict
-from tests.standins import HOST, NOW_MS
-from tests.test_front import play
+from badgeryoke.decisions.interface import Total, Verdict
+from badgeryoke.gateway.actor import Turns, dial, on_close
+from badgeryoke.gateway.attempt import End, Execution, Query, Stage
+from badgeryoke.gateway.quota_counter.client import CounterLink
+from badgeryoke.gateway.resp.upstream_connection import RespServerLink
+from tests.gateway.resp.test_client_connection import play
+from tests.support.stand_ins import HOST, NOW_MS
 
 
 @pytest.fixture
--- a/tests/test_links.py
+++ b/tests/gateway/test_counter_and_discovery.py
@@ -7,12 +7,12 @@
 
 import pytest
 
-from badgeryoke.actor import Turns
-from badgeryoke.counter import CounterLink
-from badgeryoke.host_group import HostGroup, Roster
-from martenstep.interface import Members, Scope, State, Total, Verdict
-from tests.standins import HOST, NOW_MS, Counter, Discovery, entry, roster
-from tests.test_front import play
+from badgeryoke.decisions.interface import Members, Scope, State, Total, Verdict
+from badgeryoke.gateway.actor import Turns
+from badgeryoke.gateway.discovery.client import HostGroup, Roster
+from badgeryoke.gateway.quota_counter.client import CounterLink
+from tests.gateway.resp.test_client_connection import play
+from tests.support.stand_ins import HOST, NOW_MS, Counter, Discovery, entry, roster
 
 
 class Calls:
--- a/tests/test_core.py
+++ b/tests/gateway/test_dispatcher.py
@@ -10,14 +10,14 @@
 
 import pytest
 
-from badgeryoke.actor import Actor, Turns, WallClock
-from badgeryoke.core import Answer, Core, Failed, Refused, Served
-from badgeryoke.execution import Execution, Query, Stage
-from badgeryoke.gateway import App
-from martenstep import interface as api
-from martenstep.decide import Gateway
-from tests import helpers
-from tests.standins import NOW_MS, settings
+from badgeryoke.decisions import interface as api
+from badgeryoke.decisions.policy.engine import Gateway
+from badgeryoke.gateway.actor import Actor, Turns, WallClock
+from badgeryoke.gateway.application import App
+from badgeryoke.gateway.attempt import Execution, Query, Stage
+from badgeryoke.gateway.dispatcher import Answer, Core, Failed, Refused, Served
+from tests.support import samples
+from tests.support.stand_ins import NOW_MS, settings
 
 AIM = api.RequestClass("balance-check", 400.0, 2000.0, api.Effect.SAFE)
 KEYED = api.RequestClass("load-send", 750.0, 2000.0, api.Effect.KEYED, api.Group.ALL, 1000.0)
@@ -104,12 +104,12 @@
 
 def test_an_answer_that_has_begun_takes_none_of_what_servers_bear() -> None:
     """Long values held the places of queries that servers had room for."""
-    made = helpers.gateway(has_counter=False)
-    [sent] = helpers.only(made.handle(helpers.START, helpers.request("a", spread=1)), api.Send)
+    made = samples.gateway(has_counter=False)
+    [sent] = samples.only(made.handle(samples.START, samples.request("a", spread=1)), api.Send)
     assert made._fleet._out == 1 and made._fleet._peers[sent.server].out
-    made.handle(helpers.START + 10.0, api.Started("a"))
+    made.handle(samples.START + 10.0, api.Started("a"))
     assert made._fleet._out == 0 and not made._fleet._peers[sent.server].out
-    made.handle(helpers.START + 900.0, helpers.outcome(sent, api.Verdict.OK, rtt=10.0))
+    made.handle(samples.START + 900.0, samples.outcome(sent, api.Verdict.OK, rtt=10.0))
     assert made._fleet._out == 0 and not made._jobs
 
 
--- a/tests/test_faults.py
+++ b/tests/gateway/test_faults_by_stage.py
@@ -15,11 +15,13 @@
 
 import pytest
 
-from badgeryoke import actor
-from badgeryoke.gateway import App
-from martenstep import interface as api
-from martenstep.decide import Gateway
-from tests.standins import (
+from badgeryoke.decisions import interface as api
+from badgeryoke.decisions.policy.engine import Gateway
+from badgeryoke.gateway import actor
+from badgeryoke.gateway.application import App
+from tests.gateway.resp.test_client_connection import play
+from tests.gateway.test_service import until
+from tests.support.stand_ins import (
     HOST,
     KEYED,
     NOW_MS,
@@ -34,8 +36,6 @@
     read_reply,
     roster,
 )
-from tests.test_front import play
-from tests.test_service import until
 
 ONCE = api.RequestClass("once", 30_000.0, 60_000.0, api.Effect.UNSAFE)
 BURST = 12  # of plan "small", which nothing refills while the clock stands
--- a/tests/test_handover.py
+++ b/tests/gateway/test_hot_restart.py
@@ -14,14 +14,16 @@
 
 import pytest
 
-from badgeryoke.config import Config
-from badgeryoke.drain import State
-from badgeryoke.gateway import App
-from badgeryoke.handover import link
-from martenstep import handover
-from martenstep import interface as api
-from tests import helpers
-from tests.standins import (
+from badgeryoke.decisions import interface as api
+from badgeryoke.decisions import state_snapshot
+from badgeryoke.gateway.application import App
+from badgeryoke.gateway.config.platform_file import Config
+from badgeryoke.gateway.graceful_shutdown import State
+from badgeryoke.gateway.hot_restart import transfer
+from tests.gateway.resp.test_client_connection import play
+from tests.gateway.test_service import until
+from tests.support import samples
+from tests.support.stand_ins import (
     HOST,
     NOW_MS,
     Backend,
@@ -34,37 +36,37 @@
     read_reply,
     roster,
 )
-from tests.test_front import play
-from tests.test_service import until
 
-TAKE = b"TAKE %d\n" % handover.VERSION
+TAKE = b"TAKE %d\n" % state_snapshot.VERSION
 
 # What is handed over ----------------------------------------------------------------------------------
 
 
 def used() -> Any:
     """A module that has sent for a customer, owes units, and knows a server."""
-    made = helpers.gateway()
+    made = samples.gateway()
     made._quota._chance = 1.0
     totals: dict[int, float] = {}
-    actions = helpers.admit(made, helpers.START, helpers.request("a", units=2.0), totals)
-    [sent] = helpers.only(actions, api.Send)
-    made.handle(helpers.START + 40.0, helpers.outcome(sent, api.Verdict.OK, rtt=40.0))
+    actions = samples.admit(made, samples.START, samples.request("a", units=2.0), totals)
+    [sent] = samples.only(actions, api.Send)
+    made.handle(samples.START + 40.0, samples.outcome(sent, api.Verdict.OK, rtt=40.0))
     made._quota._ledgers[7].owed = 1.5
-    capped = helpers.request("c", plan="capped", customer=8)
-    helpers.admit(made, helpers.START, capped, totals)
+    capped = samples.request("c", plan="capped", customer=8)
+    samples.admit(made, samples.START, capped, totals)
     return made, sent.server
 
 
 def test_a_successor_goes_on_from_the_same_stores_and_servers() -> None:
     old, server = used()
-    now = helpers.START + 50.0
-    handed = handover.give(old, {n: f"s{n}" for n in range(1, 5)})
-    line, body = handover.encode(handed).split(b"\n", 1)
-    checksum, length = handover.read_head(line)
+    now = samples.START + 50.0
+    handed = state_snapshot.give(old, {n: f"s{n}" for n in range(1, 5)})
+    line, body = state_snapshot.encode(handed).split(b"\n", 1)
+    checksum, length = state_snapshot.read_head(line)
     assert length == len(body)
-    new = helpers.gateway()
-    actions = handover.take(new, now, handover.decode(body, checksum), {f"s{n}": n for n in range(1, 5)})
+    new = samples.gateway()
+    actions = state_snapshot.take(
+        new, now, state_snapshot.decode(body, checksum), {f"s{n}": n for n in range(1, 5)}
+    )
     before, after = old._quota._ledgers[7], new._quota._ledgers[7]
     assert after.quota.room(now) == pytest.approx(before.quota.room(now))
     assert (after.period, after.base, after.told, after.owed) == (
@@ -74,36 +76,36 @@
         before.owed,
     )
     assert new._fleet._peers[server].latency == old._fleet._peers[server].latency
-    [wake] = helpers.only(actions, api.Wake)  # what is owed is reported though nobody asks
-    [count] = helpers.only(new.handle(wake.at_ms, api.Due(wake.token)), api.Count)
+    [wake] = samples.only(actions, api.Wake)  # what is owed is reported though nobody asks
+    [count] = samples.only(new.handle(wake.at_ms, api.Due(wake.token)), api.Count)
     assert count.units == 1.5
-    handover.given(old, handed)
+    state_snapshot.given(old, handed)
     assert before.owed == 0.0  # and reported once
     assert old._quota._ledgers[8].head.room(now) == -math.inf  # the headroom is the successor's
 
 
 def test_what_does_not_fit_the_settings_is_left_out() -> None:
     old, _ = used()
-    handed = handover.give(old, {})
-    new = helpers.gateway(plans=(replace(helpers.PLAIN, burst=40.0),))  # another period, and one plan less
-    assert handover.take(new, helpers.START, handed, {}) == [] and not new._quota._ledgers
+    handed = state_snapshot.give(old, {})
+    new = samples.gateway(plans=(replace(samples.PLAIN, burst=40.0),))  # another period, and one plan less
+    assert state_snapshot.take(new, samples.START, handed, {}) == [] and not new._quota._ledgers
 
 
 @pytest.mark.parametrize(
     "spoil",
     [
-        lambda head, body: (head.replace(b"STATE %d" % handover.VERSION, b"STATE 1"), body),
+        lambda head, body: (head.replace(b"STATE %d" % state_snapshot.VERSION, b"STATE 1"), body),
         lambda head, body: (b"NONSENSE", body),
-        lambda head, body: (b"STATE %d 1 999999999" % handover.VERSION, body),
+        lambda head, body: (b"STATE %d 1 999999999" % state_snapshot.VERSION, body),
         lambda head, body: (head, body[:-1] + bytes([body[-1] ^ 1])),
         lambda head, body: (head, b"\0" * len(body)),
     ],
 )
 def test_a_spoilt_or_unknown_state_is_not_taken(spoil: Any) -> None:
-    head, body = handover.encode(handover.give(used()[0], {1: "s1"})).split(b"\n", 1)
+    head, body = state_snapshot.encode(state_snapshot.give(used()[0], {1: "s1"})).split(b"\n", 1)
     head, body = spoil(head, body)
     with pytest.raises(ValueError):
-        handover.decode(body, handover.read_head(head)[0])
+        state_snapshot.decode(body, state_snapshot.read_head(head)[0])
 
 
 # On sockets -------------------------------------------------------------------------------------------
@@ -187,11 +189,11 @@
     async def test() -> None:
         async with platform(tmp_path) as (made, _, _counter):
             app = await started(made)
-            path = str(link.address(made.folder or "", made.name))
+            path = str(transfer.address(made.folder or "", made.name))
             reader, writer = await asyncio.open_unix_connection(path)
             writer.write(said)
             if said.startswith(b"TAKE"):
-                head = b"STATE %d " % handover.VERSION if said.startswith(TAKE) else b"ERR "
+                head = b"STATE %d " % state_snapshot.VERSION if said.startswith(TAKE) else b"ERR "
                 assert (await asyncio.wait_for(reader.readline(), 5.0)).startswith(head)
             writer.transport.abort()
             assert await ask_once(app.address, "r") == b"value" and app._drain.state is State.SERVING
@@ -204,17 +206,17 @@
 def test_without_a_sound_predecessor_it_starts_as_after_a_crash(
     left: str, tmp_path: Path, caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(link, "STEP_S", 0.1)
+    monkeypatch.setattr(transfer, "STEP_S", 0.1)
 
     async def answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         if left == "spoilt":
-            writer.write(b"STATE %d 12 4\nnope" % handover.VERSION)
+            writer.write(b"STATE %d 12 4\nnope" % state_snapshot.VERSION)
         await reader.read()
         writer.close()
 
     async def test() -> None:
         async with platform(tmp_path) as (made, _, _counter):
-            path = link.address(made.folder or "", made.name)
+            path = transfer.address(made.folder or "", made.name)
             server = None
             if left == "stale":
                 with socket.socket(socket.AF_UNIX) as one:
--- a/tests/test_operations.py
+++ b/tests/gateway/test_operations.py
@@ -13,17 +13,28 @@
 
 import pytest
 
-from badgeryoke.config import ConfigError, read_config
-from badgeryoke.drain import TRANSITIONS, Drain, Effect, Event, State
-from badgeryoke.figures import Figures
-from badgeryoke.gateway import App
-from badgeryoke.management import front as management_front
-from badgeryoke.management.render import Gauges, render
-from badgeryoke.resp import client_link as client_link_module
-from tests.standins import HOST, Backend, Counter, Discovery, config, connect, entry, gateway, query, roster
-from tests.test_front import ask, play
-from tests.test_service import until
-from tests.test_wire import PARAMS
+from badgeryoke.gateway.admin import server as management_front
+from badgeryoke.gateway.admin.rendering import Gauges, render
+from badgeryoke.gateway.application import App
+from badgeryoke.gateway.config.platform_file import ConfigError, read_config
+from badgeryoke.gateway.graceful_shutdown import TRANSITIONS, Drain, Effect, Event, State
+from badgeryoke.gateway.metrics import Figures
+from badgeryoke.gateway.resp import client_connection as client_link_module
+from tests.decisions.test_simulator_adapter import PARAMS
+from tests.gateway.resp.test_client_connection import ask, play
+from tests.gateway.test_service import until
+from tests.support.stand_ins import (
+    HOST,
+    Backend,
+    Counter,
+    Discovery,
+    config,
+    connect,
+    entry,
+    gateway,
+    query,
+    roster,
+)
 
 
 @asynccontextmanager
--- a/tests/test_parsers.py
+++ b/tests/gateway/test_parsers.py
@@ -9,16 +9,17 @@
 
 import pytest
 
-from badgeryoke.config import ConfigError, read_config, read_diameter
-from badgeryoke.counter import encode as encode_call
-from badgeryoke.counter import read_total
-from badgeryoke.diameter import codec
-from badgeryoke.diameter.repeats import Identity, Repeats
-from badgeryoke.host_group import Response, read_roster
-from badgeryoke.resp.parser import ErrorReply, Parser, Status, bulk, command, error
-from martenstep.interface import Settings
-from tests.standins import avp, avps, ccr, entry
-from tests.test_wire import PARAMS
+from badgeryoke.decisions.interface import Settings
+from badgeryoke.gateway.config.platform_file import ConfigError, read_config, read_diameter
+from badgeryoke.gateway.diameter import codec
+from badgeryoke.gateway.diameter.duplicate_requests import Identity, Repeats
+from badgeryoke.gateway.discovery.client import Response, read_roster
+from badgeryoke.gateway.quota_counter.client import encode as encode_call
+from badgeryoke.gateway.quota_counter.client import read_total
+from badgeryoke.gateway.resp.codec import ErrorReply, Parser, Status, bulk, command, error
+from tests.decisions.test_simulator_adapter import PARAMS
+from tests.support.paths import ROOT
+from tests.support.stand_ins import avp, avps, ccr, entry
 
 RESP = [
     (b"*2\r\n$4\r\nPING\r\n$0\r\n\r\n", [[b"PING", b""]]),
@@ -230,7 +231,7 @@
 def test_answers_are_kept_for_their_time_and_in_bounds() -> None:
     at = [0.0]
     repeats = Repeats(240.0, lambda: at[0], most=1)
-    from badgeryoke.core import Failed
+    from badgeryoke.gateway.dispatcher import Failed
 
     first = Identity("h", 1, "s", 0)
     entry_ = repeats.begin(first)
@@ -343,7 +344,7 @@
 
 
 def test_the_deploy_file_in_the_repository_is_off_and_sound(tmp_path: Path) -> None:
-    text = (Path(__file__).parent.parent / "deploy/diameter.toml").read_text()
+    text = (ROOT / "deploy/diameter.toml").read_text()
     assert (
         read_config(written(tmp_path, GOOD, text), tmp_path).diameter is None
     )  # and names no plan of any site
--- a/tests/test_counter_faults.py
+++ b/tests/gateway/test_quota_counter_faults.py
@@ -15,15 +15,15 @@
 
 import pytest
 
-from badgeryoke import actor
-from badgeryoke import counter as counter_module
-from badgeryoke.actor import new_socket
-from badgeryoke.counter import FROZEN_TIMES, MOST_CALLS, CounterLink
-from martenstep.interface import Total, Verdict
-from tests.standins import HOST, NOW_MS, Counter, Standin, read_reply
-from tests.test_front import play
-from tests.test_links import Calls
-from tests.test_service import until
+from badgeryoke.decisions.interface import Total, Verdict
+from badgeryoke.gateway import actor
+from badgeryoke.gateway.actor import new_socket
+from badgeryoke.gateway.quota_counter import client as counter_module
+from badgeryoke.gateway.quota_counter.client import FROZEN_TIMES, MOST_CALLS, CounterLink
+from tests.gateway.resp.test_client_connection import play
+from tests.gateway.test_counter_and_discovery import Calls
+from tests.gateway.test_service import until
+from tests.support.stand_ins import HOST, NOW_MS, Counter, Standin, read_reply
 
 LINGER_0 = struct.pack("ii", 1, 0)
 
--- a/tests/test_reload.py
+++ b/tests/gateway/test_reload.py
@@ -11,12 +11,15 @@
 
 import pytest
 
-from badgeryoke.config import Config, ConfigError, lacking, read_config, shape
-from badgeryoke.gateway import App
-from martenstep import interface as api
-from martenstep.plans.replan import replan
-from tests import helpers
-from tests.standins import (
+from badgeryoke.decisions import interface as api
+from badgeryoke.decisions.plan_schedule.plan_change import replan
+from badgeryoke.gateway.application import App
+from badgeryoke.gateway.config.platform_file import Config, ConfigError, lacking, read_config, shape
+from tests.decisions.test_simulator_adapter import PARAMS
+from tests.gateway.resp.test_client_connection import ask, play
+from tests.gateway.test_service import until
+from tests.support import samples
+from tests.support.stand_ins import (
     HOST,
     KEYED,
     NOW_MS,
@@ -29,10 +32,7 @@
     query,
     roster,
 )
-from tests.standins import settings as made_settings
-from tests.test_front import ask, play
-from tests.test_service import until
-from tests.test_wire import PARAMS
+from tests.support.stand_ins import settings as made_settings
 
 RAW: dict[str, Any] = {
     "name": "n",
@@ -196,26 +196,26 @@
 def test_a_plan_changes_without_a_free_burst_and_without_forgetting(
     rate: float, burst: float, room: float
 ) -> None:
-    made = helpers.gateway(has_counter=False)
-    now = helpers.START
-    asked = helpers.request("a", units=3.0, spread=1)
+    made = samples.gateway(has_counter=False)
+    now = samples.START
+    asked = samples.request("a", units=3.0, spread=1)
     led = made._quota.ledger(now, asked)
     led.quota.take(3.0, now)
-    plan = replace(helpers.PLAIN, rate=rate, burst=burst)
-    made.retune(replace(helpers.SETTINGS, plans=(plan, helpers.CAPPED)))
+    plan = replace(samples.PLAIN, rate=rate, burst=burst)
+    made.retune(replace(samples.SETTINGS, plans=(plan, samples.CAPPED)))
     assert made._quota.ledger(now, asked) is led and led.plan is plan
     assert led.quota.room(now) == pytest.approx(room)
 
 
 def test_a_call_that_is_out_is_answered_before_the_new_plan_is_taken_up() -> None:
-    made = helpers.gateway()
-    now = helpers.START
-    [count] = helpers.only(made.handle(now, helpers.request("a")), api.Count)
-    plan = replace(helpers.PLAIN, rate=2.0, burst=30.0)
-    made.retune(replace(helpers.SETTINGS, plans=(plan, helpers.CAPPED)))
-    led = made._quota.ledger(now, helpers.request("b"))
-    assert led.plan is helpers.PLAIN  # its answer belongs to the old period
+    made = samples.gateway()
+    now = samples.START
+    [count] = samples.only(made.handle(now, samples.request("a")), api.Count)
+    plan = replace(samples.PLAIN, rate=2.0, burst=30.0)
+    made.retune(replace(samples.SETTINGS, plans=(plan, samples.CAPPED)))
+    led = made._quota.ledger(now, samples.request("b"))
+    assert led.plan is samples.PLAIN  # its answer belongs to the old period
     made.handle(now, api.Total(count.name, api.Verdict.OK, 1.0, 1.0))
-    assert made._quota.ledger(now, helpers.request("b")).plan is plan
-    replan(now, led, replace(plan, ceiling_rate=9.0, ceiling_burst=60.0), helpers.SETTINGS)
+    assert made._quota.ledger(now, samples.request("b")).plan is plan
+    replan(now, led, replace(plan, ceiling_rate=9.0, ceiling_burst=60.0), samples.SETTINGS)
     assert led.head is not None and led.head.room(now) == 0.0  # a new ceiling's headroom starts empty
--- a/tests/test_relay.py
+++ b/tests/gateway/test_response_stream.py
@@ -8,12 +8,12 @@
 
 import pytest
 
-from badgeryoke.relay import WINDOW, WINDOW_LEAST, Relay, Room
-from badgeryoke.resp import server_link as server_link_module
-from badgeryoke.resp.parser import MAX_BULK, MAX_LONG, Parser, Passed
-from tests.standins import connect, one_gateway, query
-from tests.test_front import ask, play
-from tests.test_service import until
+from badgeryoke.gateway.resp import upstream_connection as server_link_module
+from badgeryoke.gateway.resp.codec import MAX_BULK, MAX_LONG, Parser, Passed
+from badgeryoke.gateway.response_stream import WINDOW, WINDOW_LEAST, Relay, Room
+from tests.gateway.resp.test_client_connection import ask, play
+from tests.gateway.test_service import until
+from tests.support.stand_ins import connect, one_gateway, query
 
 TAIL = b"\r\n$13\r\nused=1,cost=2\r\n$23\r\ninflight=1,latency_ms=9\r\n"
 
--- a/tests/test_service.py
+++ b/tests/gateway/test_service.py
@@ -17,15 +17,19 @@
 
 import pytest
 
-from badgeryoke import gateway as gateway_module
-from badgeryoke.config import Config, ConfigError
-from badgeryoke.execution import End, Execution, Query
-from badgeryoke.gateway import App
-from badgeryoke.resp import front as front_module
-from badgeryoke.resp.client_link import MOST_FAULTS
-from badgeryoke.resp.server_link import RespServerLink, settle
-from martenstep.interface import Verdict
-from tests.standins import (
+from badgeryoke.decisions.interface import Verdict
+from badgeryoke.gateway import application as gateway_module
+from badgeryoke.gateway.application import App
+from badgeryoke.gateway.attempt import End, Execution, Query
+from badgeryoke.gateway.config.platform_file import Config, ConfigError
+from badgeryoke.gateway.resp import listener as front_module
+from badgeryoke.gateway.resp.client_connection import MOST_FAULTS
+from badgeryoke.gateway.resp.upstream_connection import RespServerLink, settle
+from tests.decisions.test_simulator_adapter import PARAMS
+from tests.gateway.resp.test_client_connection import ask, play
+from tests.gateway.test_counter_and_discovery import Calls
+from tests.support.paths import ROOT
+from tests.support.stand_ins import (
     HOST,
     NOW_MS,
     Backend,
@@ -40,9 +44,6 @@
     resp,
     roster,
 )
-from tests.test_front import ask, play
-from tests.test_links import Calls
-from tests.test_wire import PARAMS
 
 # Reload -----------------------------------------------------------------------------------------------
 
@@ -127,7 +128,7 @@
             "known": {"version": 1, "full": True, "servers": [entry("a", 1)]},
         }
         path.write_text(json.dumps(raw))
-        root = Path(__file__).resolve().parent.parent
+        root = ROOT
         told = {**os.environ, "LB_CONFIG": str(path), "LB_DISCOVERY": f"{HOST}:1"}
         with subprocess.Popen(
             [sys.executable, "-m", "badgeryoke"], cwd=root, stderr=subprocess.PIPE, env=told, text=True
--- a/tests/test_project.py
+++ b/tests/project/test_project.py
@@ -4,21 +4,20 @@
 
 import ast
 import re
-from pathlib import Path
 
-ROOT = Path(__file__).resolve().parent.parent
+from tests.support.paths import ROOT
 
 
 def test_the_module_keeps_its_budget() -> None:
-    lines = (ROOT / "martenstep/decide.py").read_text(encoding="utf-8").splitlines()
+    lines = (ROOT / "badgeryoke/decisions/policy/engine.py").read_text(encoding="utf-8").splitlines()
     assert sum(1 for line in lines if line.strip()) <= 800
     assert max(map(len, lines)) <= 110
-    assert "martenstep/interface.py" in lines[0]
+    assert "badgeryoke/decisions/interface.py" in lines[0]
 
 
 def test_no_state_outside_the_instances() -> None:
     """Read from the syntax tree: constants at the top, no clock, no hash(), no random but the seeded."""
-    tree = ast.parse((ROOT / "martenstep/decide.py").read_text(encoding="utf-8"))
+    tree = ast.parse((ROOT / "badgeryoke/decisions/policy/engine.py").read_text(encoding="utf-8"))
     for node in tree.body:
         if isinstance(node, ast.Assign | ast.AnnAssign | ast.AugAssign):
             assert isinstance(node, ast.Assign) and isinstance(node.targets[0], ast.Name)
@@ -37,17 +36,21 @@
 
 
 def test_what_the_module_imports_imports_nothing_of_it() -> None:
-    found, seen = ["martenstep.decide"], dict[str, None]()
+    found, seen = ["badgeryoke.decisions.policy.engine"], dict[str, None]()
     while found:
         name = found.pop()
         path = ROOT / (name.replace(".", "/") + ".py")
         tree = ast.parse(path.read_text(encoding="utf-8"))
         named = [part.module or "" for part in ast.walk(tree) if isinstance(part, ast.ImportFrom)]
-        here = [module for module in named if module.startswith("martenstep")]
-        assert "martenstep.decide" not in here, name
+        here = [module for module in named if module.startswith("badgeryoke")]
+        assert "badgeryoke.decisions.policy.engine" not in here, name
         found += [module for module in here if module not in seen]
         seen |= dict.fromkeys(here)
-    assert {"martenstep.plans.replan", "martenstep.watch.sight", "martenstep.books"} <= seen.keys()
+    assert {
+        "badgeryoke.decisions.plan_schedule.plan_change",
+        "badgeryoke.decisions.counter_health.visibility",
+        "badgeryoke.decisions.quota_protocols",
+    } <= seen.keys()
 
 
 def test_the_readme_example_runs() -> None:
--- a/tests/fleet.py
+++ b/tests/support/policy_fleet.py
@@ -9,9 +9,9 @@
 from dataclasses import replace
 from typing import Any
 
-from martenstep import interface as api
-from martenstep.decide import Gateway
-from tests.helpers import SETTINGS, START
+from badgeryoke.decisions import interface as api
+from badgeryoke.decisions.policy.engine import Gateway
+from tests.support.samples import SETTINGS, START
 
 
 class Fleet:
--- a/tests/helpers.py
+++ b/tests/support/samples.py
@@ -6,8 +6,8 @@
 from dataclasses import replace
 from typing import Any, TypeVar
 
-from martenstep import interface as api
-from martenstep.decide import Gateway
+from badgeryoke.decisions import interface as api
+from badgeryoke.decisions.policy.engine import Gateway
 
 SAFE = api.RequestClass("read", 1000.0, 4000.0, api.Effect.SAFE)
 KEYED = api.RequestClass("write", 1000.0, 4000.0, api.Effect.KEYED, api.Group.ZONE, 3000.0)
--- a/tests/standins.py
+++ b/tests/support/stand_ins.py
@@ -14,10 +14,10 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from badgeryoke.config import Config, DiameterConfig
-from badgeryoke.gateway import App
-from badgeryoke.host_group import Roster, read_roster
-from martenstep import interface as api
+from badgeryoke.decisions import interface as api
+from badgeryoke.gateway.application import App
+from badgeryoke.gateway.config.platform_file import Config, DiameterConfig
+from badgeryoke.gateway.discovery.client import Roster, read_roster
 
 NOW_MS = 1_790_000_000_000.0  # what the clock says where it is made to stand still
 NTP = 2_208_988_800
--- a/tests/test_fleet_world.py
+++ b/tests/testbed/test_cluster_simulation.py
@@ -10,15 +10,15 @@
 
 import pytest
 
-from fleet.events import Entries, HardState, NodeEvent, Snapshot, Store, StoreBroke, Stored
-from fleet.messages import Config, Entry
-from lab.fleet.checker import Op, judge, linear
-from lab.fleet.clock import Clock
-from lab.fleet.disk import Disk
-from lab.fleet.drawn import play, play_seed, shrink
-from lab.fleet.faults import KINDS, Plan, draw
-from lab.fleet.network import Calendar, Network
-from lab.text.scenario import Fault
+from badgeryoke.cluster.events import Entries, HardState, NodeEvent, Snapshot, Store, StoreBroke, Stored
+from badgeryoke.cluster.messages import Config, Entry
+from badgeryoke.testbed.checkers.history_checker import Op, judge, linear
+from badgeryoke.testbed.cluster_simulation.clock import Clock
+from badgeryoke.testbed.cluster_simulation.disk import Disk
+from badgeryoke.testbed.cluster_simulation.fault_plan import KINDS, Plan, draw
+from badgeryoke.testbed.cluster_simulation.generated_plans import play, play_seed, shrink
+from badgeryoke.testbed.cluster_simulation.network import Calendar, Network
+from badgeryoke.testbed.scenario.model import Fault
 
 
 def put(
--- a/tests/test_fleet_stage.py
+++ b/tests/testbed/test_emulator_cluster.py
@@ -11,12 +11,12 @@
 
 import pytest
 
-from lab.stage.fleet import FleetStage, unplayable
-from lab.stage.links import Links
-from lab.stage.promises import NOBODY, UNKNOWN, Book, read_answer
-from lab.stage.run import Stage
-from lab.text.scenario import Fault, load, parse
-from lab.text.sexpr import TextError
+from badgeryoke.testbed.emulator.cluster import FleetStage, unplayable
+from badgeryoke.testbed.emulator.faulty_links import Links
+from badgeryoke.testbed.emulator.key_value_load import NOBODY, UNKNOWN, Book, read_answer
+from badgeryoke.testbed.emulator.run import Stage
+from badgeryoke.testbed.scenario.model import Fault, load, parse
+from badgeryoke.testbed.scenario.sexpr import TextError
 
 FLEET = "(gateways 5 (fleet on) (copies 3) (halls 2))"
 LOAD = "(plan p (rate 5/s) (burst 10u)) (customers 4 (plan p))"
--- a/tests/test_fleet_planted.py
+++ b/tests/testbed/test_planted_faults.py
@@ -10,17 +10,17 @@
 
 import pytest
 
-from fleet.connections import Connections, Keeper
-from fleet.events import Done, Saved, Send, Stored
-from fleet.messages import Config, Vote
-from fleet.promises import Promise
-from fleet.replica import Replica, Role
-from fleet.rollout import STEPS, Facts, Rolls, Stand, Step
-from fleet.timings import Timings
-from lab.fleet.disk import Disk
-from lab.fleet.drawn import Played, play
-from lab.fleet.faults import Plan, draw
-from lab.text.scenario import ContractText, Fault, RollText
+from badgeryoke.cluster.connection_limits import Connections, Keeper
+from badgeryoke.cluster.events import Done, Saved, Send, Stored
+from badgeryoke.cluster.key_value import Promise
+from badgeryoke.cluster.messages import Config, Vote
+from badgeryoke.cluster.raft.node import Replica, Role
+from badgeryoke.cluster.rolling_restart.restart import STEPS, Facts, Rolls, Stand, Step
+from badgeryoke.cluster.timings import Timings
+from badgeryoke.testbed.cluster_simulation.disk import Disk
+from badgeryoke.testbed.cluster_simulation.fault_plan import Plan, draw
+from badgeryoke.testbed.cluster_simulation.generated_plans import Played, play
+from badgeryoke.testbed.scenario.model import ContractText, Fault, RollText
 
 Patch = Callable[[pytest.MonkeyPatch], None]
 
@@ -171,7 +171,7 @@
 
 def snapshot_without_ids(patch: pytest.MonkeyPatch) -> None:
     """A snapshot leaves one promise out."""
-    from fleet.promises import Promises
+    from badgeryoke.cluster.key_value import Promises
 
     patch.setattr(Promises, "dump", lambda self: dict(list(self._kept.items())[1:]))
 
@@ -221,7 +221,7 @@
     """A lost machine's connections count as closed when its lease is over."""
     patch.setattr(Connections, "lease_ms", lambda self: self._timings.lease_ms)
     patch.setattr(Keeper, "lease_ms", 2000.0, raising=False)
-    patch.setattr("fleet.connections.LEASES", 1.0)
+    patch.setattr("badgeryoke.cluster.connection_limits.LEASES", 1.0)
     patch.setattr(Connections, "patience", lambda self, idle_ms: self._timings.outlast())
 
 
--- a/tests/test_lab.py
+++ b/tests/testbed/test_scenarios.py
@@ -10,17 +10,17 @@
 
 import pytest
 
-from lab.commands import resize, summary
-from lab.referee import Referee
-from lab.report.write import compare_folders, write_folder
-from lab.result import within_stated
-from lab.sim.counter import CounterModel
-from lab.sim.world import play
-from lab.stage.clients import Door
-from lab.stage.resp import _value
-from lab.stage.run import Stage
-from lab.text.scenario import Fault, PlanText, Scenario, load, parse, shipped
-from lab.text.sexpr import TextError
+from badgeryoke.testbed.checkers.quota_checker import Referee
+from badgeryoke.testbed.commands import resize, summary
+from badgeryoke.testbed.emulator.clients import Door
+from badgeryoke.testbed.emulator.resp import _value
+from badgeryoke.testbed.emulator.run import Stage
+from badgeryoke.testbed.report.result import within_stated
+from badgeryoke.testbed.report.write import compare_folders, write_folder
+from badgeryoke.testbed.scenario.model import Fault, PlanText, Scenario, load, parse, shipped
+from badgeryoke.testbed.scenario.sexpr import TextError
+from badgeryoke.testbed.simulation.counter import CounterModel
+from badgeryoke.testbed.simulation.world import play
 
 PLAN = "(plan p (rate 5/s) (burst 10u))"
 CROWD = "(customers 2 (plan p))"
