State the stored and sent name of each command and message as a tag

Cause: commands and messages took their tags from the names of their classes, so that renaming a class would have changed stored logs and the wire. Change: each states its tag; the registry, the FLEET call and error texts go by Command.command_name().

--- a/badgeryoke/cluster/connection_limits.py
+++ b/badgeryoke/cluster/connection_limits.py
@@ -76,7 +76,7 @@
     return (name_of(holder), boot) if boot else None
 
 
-class Limit(Command, frozen=True):
+class Limit(Command, frozen=True, tag="Limit"):
     """A server's limit, from the operators' file or from discovery.  `idle_ms`: so long after a
     connection's last use the server has closed it for sure, the longest request included."""
 
@@ -97,7 +97,7 @@
         return ""
 
 
-class Unlimit(Command, frozen=True):
+class Unlimit(Command, frozen=True, tag="Unlimit"):
     """The server is no more: nothing is granted, and it is forgotten when the last part has come back."""
 
     server: str
@@ -115,7 +115,7 @@
     wish: int
 
 
-class ConnLeases(Command, frozen=True):
+class ConnLeases(Command, frozen=True, tag="ConnLeases"):
     """Renew, shrink, grow or give back, for many servers of a bucket at once.
 
     Gives {"parts": [[server, number, part, aim, spare], ...], "old": [[holder, server, number], ...]}: above
@@ -144,7 +144,7 @@
         return ""
 
 
-class ConnEnd(Command, frozen=True):
+class ConnEnd(Command, frozen=True, tag="ConnEnd"):
     """Leases that are over: by the leader, "idle", or by a later process of the same machine, "reset"."""
 
     holder: Id
@@ -199,7 +199,7 @@
             return self._leases(command)
         if isinstance(command, ConnEnd):
             return self._end(command)
-        return Applied(error=BadCall("connections", f"unknown command {type(command).__name__}"))
+        return Applied(error=BadCall("connections", f"unknown command {command.command_name()}"))
 
     def _limit(self, command: Limit) -> Applied:
         found = self.servers.get(command.server)
--- a/badgeryoke/cluster/key_value.py
+++ b/badgeryoke/cluster/key_value.py
@@ -15,7 +15,7 @@
 MOST_NAME, MOST_VALUE = 128, 1024
 
 
-class Promise(Command, frozen=True, kw_only=True):
+class Promise(Command, frozen=True, kw_only=True, tag="Promise"):
     """Keep `value` under `name`; the answer is what was there before."""
 
     name: str
@@ -30,7 +30,7 @@
         return f"value: {MOST_VALUE} characters at the most" if len(self.value) > MOST_VALUE else ""
 
 
-class PromiseRead(Command, frozen=True, kw_only=True):
+class PromiseRead(Command, frozen=True, kw_only=True, tag="PromiseRead"):
     """The value under `name`, null where there is none: as of a moment between call and answer."""
 
     reads: ClassVar[bool] = True
--- a/badgeryoke/cluster/messages.py
+++ b/badgeryoke/cluster/messages.py
@@ -41,7 +41,7 @@
 
 
 class Message(msgspec.Struct, frozen=True, tag=True, array_like=True):
-    """Any message."""
+    """Any message.  Each states its tag, which is on the wire: the name of the type may change, the tag may not."""
 
 
 class GroupMessage(Message, frozen=True):
@@ -51,7 +51,7 @@
     term: int
 
 
-class Ask(GroupMessage, frozen=True):
+class Ask(GroupMessage, frozen=True, tag="Ask"):
     """For a vote; `pre`: only whether one would be given (pre-vote, nothing is stored by it).  `lead`: the
     leader has handed over, so that who has heard a leader lately votes all the same."""
 
@@ -61,14 +61,14 @@
     lead: bool = False
 
 
-class Vote(GroupMessage, frozen=True):
+class Vote(GroupMessage, frozen=True, tag="Vote"):
     """The answer to Ask."""
 
     granted: bool
     pre: bool
 
 
-class Append(GroupMessage, frozen=True):
+class Append(GroupMessage, frozen=True, tag="Append"):
     """Entries behind `previous`; none: a heartbeat.  `round` comes back, for reads."""
 
     previous: int
@@ -78,7 +78,7 @@
     round: int
 
 
-class Appended(GroupMessage, frozen=True):
+class Appended(GroupMessage, frozen=True, tag="Appended"):
     """The answer: what is on stable storage here.  Refused: `index` is where to try next."""
 
     good: bool
@@ -86,7 +86,7 @@
     round: int
 
 
-class Piece(GroupMessage, frozen=True):
+class Piece(GroupMessage, frozen=True, tag="Piece"):
     """A piece of a snapshot up to (`index`, `index_term`), from byte `offset` of `size`."""
 
     index: int
@@ -98,7 +98,7 @@
     round: int
 
 
-class PieceTaken(GroupMessage, frozen=True):
+class PieceTaken(GroupMessage, frozen=True, tag="PieceTaken"):
     """The bytes held of the snapshot up to `index`."""
 
     index: int
@@ -106,11 +106,11 @@
     round: int
 
 
-class Lead(GroupMessage, frozen=True):
+class Lead(GroupMessage, frozen=True, tag="Lead"):
     """The leader hands over: stand for election at once."""
 
 
-class Forward(Message, frozen=True):
+class Forward(Message, frozen=True, tag="Forward"):
     """A call on its way to the leader of the group that holds `key`."""
 
     token: str
@@ -119,14 +119,14 @@
     hops: int
 
 
-class Reply(Message, frozen=True):
+class Reply(Message, frozen=True, tag="Reply"):
     """What became of a Forward: `body` is a `Result` in MessagePack."""
 
     token: str
     body: bytes
 
 
-class Ping(Message, frozen=True):
+class Ping(Message, frozen=True, tag="Ping"):
     """SWIM's probe.  `target`: who is meant (a restarted process answers for nobody else).  `wall`: the
     sender's clock, Unix ms, 0 where it does not say."""
 
@@ -136,7 +136,7 @@
     wall: float = 0.0
 
 
-class Ack(Message, frozen=True):
+class Ack(Message, frozen=True, tag="Ack"):
     """Its answer; `target`: who was alive."""
 
     seq: int
@@ -145,7 +145,7 @@
     wall: float = 0.0
 
 
-class PingFor(Message, frozen=True):
+class PingFor(Message, frozen=True, tag="PingFor"):
     """Probe `target` for me (SWIM's indirect probe).  A proxy that hears nothing says so with Nack
     (Lifeguard)."""
 
@@ -154,7 +154,7 @@
     gossip: tuple[Rumour, ...]
 
 
-class Nack(Message, frozen=True):
+class Nack(Message, frozen=True, tag="Nack"):
     """The proxy lives, and has heard nothing of the target."""
 
     seq: int
@@ -172,20 +172,20 @@
     by: Id = ""
 
 
-class WhoAreYou(Message, frozen=True):
+class WhoAreYou(Message, frozen=True, tag="WhoAreYou"):
     """A member without a founding asks."""
 
     sender_hall: str
 
 
-class IAm(Message, frozen=True):
+class IAm(Message, frozen=True, tag="IAm"):
     """The answer; `founding`: the record (MessagePack), empty where there is none yet."""
 
     hall: str
     founding: bytes
 
 
-class Found(Message, frozen=True):
+class Found(Message, frozen=True, tag="Found"):
     """The founder tells the record; taken only by one that has none and is named in it."""
 
     founding: bytes
--- a/badgeryoke/cluster/placement/directory.py
+++ b/badgeryoke/cluster/placement/directory.py
@@ -89,7 +89,7 @@
 # ------------------------------------------------------------------------------
 
 
-class Enrol(Command, frozen=True):
+class Enrol(Command, frozen=True, tag="Enrol"):
     """An Id is its name's present one."""
 
     name: str
@@ -104,7 +104,7 @@
         return ""
 
 
-class Replace(Command, frozen=True):
+class Replace(Command, frozen=True, tag="Replace"):
     """Begin a move: `new` for `lost`; one of them may be empty.  `most` moves may be under way with it."""
 
     group: str
@@ -118,7 +118,7 @@
         return "" if self.most >= 1 else "most: expected 1 at the least"
 
 
-class Moved(Command, frozen=True):
+class Moved(Command, frozen=True, tag="Moved"):
     """A group's voters, as its leader has them committed; `number`: the index of that configuration in its
     log."""
 
@@ -131,7 +131,7 @@
         return "" if 1 <= len(self.voters) <= 16 and self.number >= 0 else "voters, number: out of bounds"
 
 
-class Forgo(Command, frozen=True):
+class Forgo(Command, frozen=True, tag="Forgo"):
     """Give a move up."""
 
     group: str
@@ -139,7 +139,7 @@
     why: str
 
 
-class Places(Command, frozen=True):
+class Places(Command, frozen=True, tag="Places"):
     """Read who copies what."""
 
     reads = True
--- a/badgeryoke/cluster/reservations/contract.py
+++ b/badgeryoke/cluster/reservations/contract.py
@@ -212,7 +212,7 @@
 # ---------------------------------------------------------------------------------------
 
 
-class Capacity(Command, frozen=True, kw_only=True):
+class Capacity(Command, frozen=True, kw_only=True, tag="Capacity"):
     """What the fleet can carry, units a second; `reserve`: the part kept for losses; `floor`: units a
     second for all others; `halls`: capacity of each, where it is known."""
 
@@ -229,7 +229,7 @@
         return "" if 0.0 <= self.reserve < 1.0 else f"reserve: expected 0 to below 1, got {self.reserve!r}"
 
 
-class Propose(Command, frozen=True, kw_only=True):
+class Propose(Command, frozen=True, kw_only=True, tag="Propose"):
     """A contract under a name of its own.  Gives its facts, or NoRoom with what would fit and when."""
 
     contract: str
@@ -239,7 +239,7 @@
         return _named(self.contract) or self.terms.fault()
 
 
-class Change(Command, frozen=True, kw_only=True):
+class Change(Command, frozen=True, kw_only=True, tag="Change"):
     """Other terms from one moment over all gateways.  The tenant stays."""
 
     contract: str
@@ -252,14 +252,14 @@
         return _named(self.contract) or self.terms.fault()
 
 
-class CancelContract(Command, frozen=True, kw_only=True):
+class CancelContract(Command, frozen=True, kw_only=True, tag="CancelContract"):
     """Take a contract back, half used or not: it holds for two lives of a lease yet, then its room is
     free."""
 
     contract: str
 
 
-class Told(Command, frozen=True, kw_only=True):
+class Told(Command, frozen=True, kw_only=True, tag="Told"):
     """The tenant's group holds to that version, and no lease of one before is left."""
 
     contract: str
@@ -269,7 +269,7 @@
         return _counted("version", self.version)
 
 
-class Short(Command, frozen=True, kw_only=True):
+class Short(Command, frozen=True, kw_only=True, tag="Short"):
     """Units within the contract that were not served at one gateway, by cause: its total since it began to
     count, so that a repeat adds nothing."""
 
@@ -291,19 +291,19 @@
         )
 
 
-class Pass(Command, frozen=True, kw_only=True):
+class Pass(Command, frozen=True, kw_only=True, tag="Pass"):
     """Time has gone on: contracts go on by their table."""
 
     once: ClassVar[bool] = False
 
 
-class ContractsRead(Command, frozen=True, kw_only=True):
+class ContractsRead(Command, frozen=True, kw_only=True, tag="ContractsRead"):
     """All contracts, for operators: state, terms, units short; and the room that is left now."""
 
     reads: ClassVar[bool] = True
 
 
-class ContractsKnown(Command, frozen=True, kw_only=True):
+class ContractsKnown(Command, frozen=True, kw_only=True, tag="ContractsKnown"):
     """What a gateway has to know of contracts; nothing but the number where it has that already."""
 
     reads: ClassVar[bool] = True
@@ -326,7 +326,7 @@
         return f"t:{self.tenant}"
 
 
-class Open(_OfTenant, frozen=True, kw_only=True):
+class Open(_OfTenant, frozen=True, kw_only=True, tag="Open"):
     """Hold to a version from its moment on (a first one: at once)."""
 
     version: int
@@ -340,7 +340,7 @@
         return "" if good and len(self.times) <= MOST_SPANS else "version: out of bounds"
 
 
-class Lease(_OfTenant, frozen=True, kw_only=True):
+class Lease(_OfTenant, frozen=True, kw_only=True, tag="Lease"):
     """Renew, shrink, grow or give back a part of a contract's rate and burst: see
     `badgeryoke.cluster.leases.lease_pool.Divided.ask`."""
 
@@ -368,13 +368,13 @@
         return "" if 0 < len(self.holder) <= 200 and len(self.process) <= 64 else "holder: expected a name"
 
 
-class TurnFloor(_OfTenant, frozen=True, kw_only=True):
+class TurnFloor(_OfTenant, frozen=True, kw_only=True, tag="TurnFloor"):
     """The moment of a version has come, though nobody asks for a part."""
 
     once: ClassVar[bool] = False
 
 
-class Used(_OfTenant, frozen=True, kw_only=True):
+class Used(_OfTenant, frozen=True, kw_only=True, tag="Used"):
     """What was asked for within a contract at one gateway and what of that was drawn, in slices of the
     group's time (number, units, units).  A slice told again takes the place of the same one."""
 
@@ -395,7 +395,7 @@
         )
 
 
-class EndLease(_OfTenant, frozen=True, kw_only=True):
+class EndLease(_OfTenant, frozen=True, kw_only=True, tag="EndLease"):
     """A lease is over by the leader's clock, and so by its holder's."""
 
     once: ClassVar[bool] = False  # its number is given once
@@ -572,7 +572,7 @@
                 self._tidy()
                 return Applied()
             case _:
-                return Applied(error=BadCall("contracts", f"unknown command {type(command).__name__}"))
+                return Applied(error=BadCall("contracts", f"unknown command {command.command_name()}"))
         if result.error is None and not isinstance(command, Short):
             self._check(at_ms)
         return result
@@ -1119,7 +1119,7 @@
             if found.tally.told or found.tally.owed:
                 found.tally.settle(int(at_ms // SLICE_MS) - SETTLED_SLICES, found.rate, found.parts.depth)
             return Applied(found.version)
-        return Applied(error=BadCall("floors", f"unknown command {type(command).__name__}"))
+        return Applied(error=BadCall("floors", f"unknown command {command.command_name()}"))
 
     def _open(self, at_ms: float, command: Open) -> Applied:
         for name in [name for name, one in self.held.items() if self._past(at_ms, one)]:
--- a/badgeryoke/cluster/rolling_restart/restart.py
+++ b/badgeryoke/cluster/rolling_restart/restart.py
@@ -193,7 +193,7 @@
     )
 
 
-class RollAsk(Command, frozen=True):
+class RollAsk(Command, frozen=True, tag="RollAsk"):
     """Drain gateways: by name, or of a hall, or all.  `deadline_ms`: for one to become empty, and to come
     back."""
 
@@ -223,14 +223,14 @@
         return _texts(roll=self.roll, hall=self.hall, reason=self.reason)
 
 
-class RollCancel(Command, frozen=True):
+class RollCancel(Command, frozen=True, tag="RollCancel"):
     """Take a roll back: whoever is drained serves again, whoever has left comes back, nobody else is
     drained."""
 
     roll: str
 
 
-class RollResume(Command, frozen=True):
+class RollResume(Command, frozen=True, tag="RollResume"):
     """Let go who is held, all or one by name; `force`: act on those that do not become empty, at their
     loss."""
 
@@ -239,7 +239,7 @@
     force: bool = False
 
 
-class RollTurn(Command, frozen=True):
+class RollTurn(Command, frozen=True, tag="RollTurn"):
     """A turn of the roll, by the leader."""
 
     roll: str
@@ -250,7 +250,7 @@
     members: int = 0
 
 
-class RollWave(Command, frozen=True):
+class RollWave(Command, frozen=True, tag="RollWave"):
     """A wave begins, by the leader."""
 
     roll: str
@@ -259,7 +259,7 @@
     facts: Facts
 
 
-class RollStep(Command, frozen=True):
+class RollStep(Command, frozen=True, tag="RollStep"):
     """A step of one gateway, by the leader."""
 
     roll: str
@@ -270,7 +270,7 @@
     stamp: int = -1  # the roll's count of changes on which the facts were counted, where there are any
 
 
-class RollReport(Command, frozen=True):
+class RollReport(Command, frozen=True, tag="RollReport"):
     """What a gateway has done.  Answered as RollRead."""
 
     roll: str
@@ -285,14 +285,14 @@
         return _texts(process=self.process) or ("" if self.process else "process: expected a name")
 
 
-class RollRead(Command, frozen=True):
+class RollRead(Command, frozen=True, tag="RollRead"):
     """Where a gateway stands."""
 
     reads: ClassVar[bool] = True
     gateway: str
 
 
-class RollsRead(Command, frozen=True):
+class RollsRead(Command, frozen=True, tag="RollsRead"):
     """Every roll that is kept, for operators: its state, why, and where each gateway stands."""
 
     reads: ClassVar[bool] = True
@@ -381,7 +381,7 @@
             return self._step(at_ms, roll, command)
         if isinstance(command, RollReport):
             return self._report(at_ms, roll, command)
-        return Applied(error=BadCall("roll", f"unknown command {type(command).__name__}"))
+        return Applied(error=BadCall("roll", f"unknown command {command.command_name()}"))
 
     def look(self, command: RollRead | RollsRead) -> Applied:
         """Read where one gateway stands, or every roll."""
--- a/badgeryoke/cluster/state_machine/machine.py
+++ b/badgeryoke/cluster/state_machine/machine.py
@@ -50,7 +50,7 @@
         """Hang in a part under a name that snapshots go by."""
         (self.own if own else self.others)[name] = make
         for command in commands:
-            self.commands[command.__name__] = command
+            self.commands[command.command_name()] = command
             self.part_of[command] = name
 
 
@@ -131,7 +131,7 @@
         part = self.parts.get(REGISTRY.part_of[type(command)])
         if part is None:
             return Applied(
-                error=BadCall(command.id, f"{type(command).__name__} is not for group {self.group}")
+                error=BadCall(command.id, f"{command.command_name()} is not for group {self.group}")
             )
         result: Applied = part.apply(self.at_ms, command)
         part.seen(now)
@@ -155,7 +155,7 @@
         part = self.parts.get(REGISTRY.part_of[type(command)])
         if part is None or not command.reads:
             return Applied(
-                error=BadCall(command.id, f"{type(command).__name__} is not for group {self.group}")
+                error=BadCall(command.id, f"{command.command_name()} is not for group {self.group}")
             )
         found: Applied = part.look(command)
         return found
--- a/badgeryoke/cluster/state_machine/part.py
+++ b/badgeryoke/cluster/state_machine/part.py
@@ -29,6 +29,11 @@
 
     id: str
 
+    @classmethod
+    def command_name(cls) -> str:
+        """The name under which it is stored and called; the name of the type may change, this one may not."""
+        return str(cls.__struct_config__.tag)
+
     def key(self) -> str:
         """What decides the group: "" for the fleet's own, else "t:TENANT", "s:SERVER" or "p:PROMISE"."""
         return ""
--- a/badgeryoke/cluster/unreported_usage.py
+++ b/badgeryoke/cluster/unreported_usage.py
@@ -38,7 +38,7 @@
     expire_ms: float
 
 
-class Owe(Command, frozen=True, kw_only=True):
+class Owe(Command, frozen=True, kw_only=True, tag="Owe"):
     """`by` owes these; `id` names the batch."""
 
     tenant: str  # by which group it is kept
@@ -72,7 +72,7 @@
         return f"t:{self.tenant}"
 
 
-class OwedTold(Command, frozen=True, kw_only=True):
+class OwedTold(Command, frozen=True, kw_only=True, tag="OwedTold"):
     """The counter has a batch, or `known` is false: nobody knows, and it is not told again."""
 
     tenant: str
@@ -84,7 +84,7 @@
         return f"t:{self.tenant}"
 
 
-class OwedRead(Command, frozen=True, kw_only=True):
+class OwedRead(Command, frozen=True, kw_only=True, tag="OwedRead"):
     """Batches that nobody has claimed, oldest first."""
 
     reads: ClassVar[bool] = True
--- a/badgeryoke/gateway/cluster/admin_calls.py
+++ b/badgeryoke/gateway/cluster/admin_calls.py
@@ -71,7 +71,7 @@
         return STATUS
     kind = kinds.get(plain)
     if kind is None:
-        names = [STATUS, *sorted(one.__name__ for one in kinds.values())]
+        names = [STATUS, *sorted(one.command_name() for one in kinds.values())]
         close = difflib.get_close_matches(word[:64], names, 1)
         return BadCall(
             "do",
--- a/badgeryoke/gateway/cluster/transport.py
+++ b/badgeryoke/gateway/cluster/transport.py
@@ -368,7 +368,10 @@
         body = _encoder.encode(message)
         if len(body) + HEAD > self.bounds.most_frame:
             self._error(
-                BadFrame(to, f"a {type(message).__name__} of {len(body)} bytes is more than a frame holds")
+                BadFrame(
+                    to,
+                    f"a {type(message).__struct_config__.tag} of {len(body)} bytes is more than a frame holds",
+                )
             )
             return
         light = isinstance(message, _LIGHT) or (isinstance(message, Append) and not message.entries)
