Add golden files of what the cluster sends, stores and answers

Cause: package, class and field names are about to change throughout, while stored data and wires have to stay as they are; nothing stated the bytes.

The files were written once and nothing here writes them again.

--- /dev/null
+++ b/tests/test_golden_cluster.py
@@ -0,0 +1,341 @@
+"""What the cluster sends, stores and answers, byte for byte as golden files state it (tests/golden/README.md)."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import math
+import shutil
+import sqlite3
+from enum import Enum
+from pathlib import Path
+from random import Random
+from typing import Any, get_args
+
+import msgspec
+import pytest
+
+from badgeryoke.fleet.calls import known, read_call
+from badgeryoke.fleet.service import Service
+from badgeryoke.fleet.settings import Fleet
+from badgeryoke.fleet.store import NAME, Disk, open_store
+from fleet import contracts, groups, messages, owed, rollout
+from fleet.connections import Ask as ConnectionsAsk
+from fleet.errors import AnyError, FleetError
+from fleet.events import Call, Done, Effect, NodeEvent, Saved
+from fleet.founding import Record as FoundingRecord
+from fleet.groups import group_of
+from fleet.invariants import Invariants, Rule
+from fleet.messages import AnyMessage, Message
+from fleet.node import Node
+from fleet.part import FLEET, Applied, Command, View
+from fleet.setup import Setup
+from fleet.state import REGISTRY, GroupState, encode
+from fleet.timings import Timings
+from tests.canonical import canonical
+from tests.cluster_history import (
+    HISTORIES,
+    INCARNATION,
+    MEMBER,
+    OTHER,
+    SNAPSHOT_AT,
+    apply_entries,
+    history_entries,
+    new_state,
+    write_store,
+)
+from tests.cluster_samples import CASES, CLUSTER, COMMANDS, ERRORS, FOUNDING, MESSAGES, START_MS, Case
+from tests.standins import HOST
+from tests.test_fleet_service import free
+from tests.test_service import until
+
+GOLDEN = Path(__file__).parent / "golden"
+STORE = GOLDEN / "store" / "files"
+NODE_TIME_MS = 5000.0  # monotonic, of whatever asks a leader for its work
+TABLES = ("store", "part", "shot", "entry")
+
+
+def golden(name: str) -> Any:
+    """A golden file; a missing one is a failure."""
+    return json.loads((GOLDEN / name).read_text())
+
+
+# What is sent and what a log holds ------------------------------------------------------------------------------------
+
+
+def encoded_cases() -> dict[str, str]:
+    """All samples' bytes."""
+    return {case.name: case.encode(case.value).hex() for case in CASES}
+
+
+@pytest.mark.parametrize("case", CASES, ids=lambda case: case.name)
+def test_a_sample_is_encoded_as_ever(case: Case) -> None:
+    assert case.encode(case.value).hex() == golden("cluster/bytes.json")[case.name]
+
+
+@pytest.mark.parametrize("case", CASES, ids=lambda case: case.name)
+def test_what_was_encoded_is_read_as_ever(case: Case) -> None:
+    read = case.decode(bytes.fromhex(golden("cluster/bytes.json")[case.name]))
+    assert read == case.value and type(read) is type(case.value)
+
+
+def test_samples_and_golden_bytes_are_of_the_same_names() -> None:
+    assert len({case.name for case in CASES}) == len(CASES)
+    assert {case.name for case in CASES} == set(golden("cluster/bytes.json"))
+
+
+def leaves(kind: type) -> set[type]:
+    """The types below one of which there are instances; those that tests declare don't count."""
+    subclasses: list[type] = kind.__subclasses__()
+    below = [one for one in subclasses if not one.__module__.startswith("tests.")]
+    return set().union(*map(leaves, below)) if below else {kind}
+
+
+@pytest.mark.parametrize(("base", "union", "samples"), [
+    (Message, set(get_args(AnyMessage)), [message for _, message in MESSAGES]),
+    (Command, set(REGISTRY.commands.values()), [command for _, command in COMMANDS]),
+    (FleetError, set(get_args(AnyError)), ERRORS),
+], ids=["messages", "commands", "errors"])
+def test_every_type_has_a_sample(base: type, union: set[type], samples: list[Any]) -> None:
+    assert len(union) > 10
+    assert sorted(map(str, map(type, samples))) == sorted(map(str, union)), "one sample a type"
+    assert leaves(base) == union
+
+
+def structs_within(value: object) -> list[msgspec.Struct]:
+    """All Structs that a value holds, itself included."""
+    if isinstance(value, msgspec.Struct):
+        return [value, *(found for name in value.__struct_fields__ for found in structs_within(getattr(value, name)))]
+    if isinstance(value, tuple):
+        return [found for one in value for found in structs_within(one)]
+    return []
+
+
+def test_the_parts_of_messages_and_commands_have_samples_with_no_field_at_its_default() -> None:
+    samples = [sample for case in CASES for sample in structs_within(case.value)]
+    parts = {messages.Config, messages.Entry, messages.Rumour, messages.Envelope, FoundingRecord, contracts.Window,
+             contracts.Terms, rollout.Facts, owed.Line, groups.Move, groups.Held, ConnectionsAsk, Applied}
+    assert parts <= set(map(type, samples))
+    for kind in {type(sample) for sample in samples}:
+        for field in msgspec.structs.fields(kind):
+            default = field.default if field.default_factory is msgspec.NODEFAULT else field.default_factory()
+            assert any(getattr(sample, field.name) != default for sample in samples if type(sample) is kind), field.name
+
+
+def stored_words() -> dict[str, list[Any]]:
+    """The words by which snapshots, entries and answers name members of enumerations, reports and parts."""
+    names: dict[str, type[Enum]] = {"roll states": rollout.State, "roll turns": rollout.Turn,
+                                    "gateway stands": rollout.Stand, "gateway steps": rollout.Step, "rules": Rule}
+    values: dict[str, type[Enum]] = {"contract states": contracts.State, "roll states told": rollout.State,
+                                     "gateway stands told": rollout.Stand}
+    return {name: [one.name for one in kind] for name, kind in names.items()} | {
+        name: [one.value for one in kind] for name, kind in values.items()} | {
+        "reports": list(rollout.REPORTS), "fleet parts": list(REGISTRY.own), "other parts": list(REGISTRY.others)}
+
+
+def test_words_that_are_stored_are_as_ever() -> None:
+    assert stored_words() == golden("cluster/words.json")
+
+
+# The state machine ----------------------------------------------------------------------------------------------------
+
+
+def leaders_view() -> View:
+    """What the leader of either group looks at, long behind the last entry."""
+    return View(now=NODE_TIME_MS + 1e6, wall=START_MS + 900_000.0, me="a/1", lead_since=NODE_TIME_MS, timings=Timings(),
+                alive=frozenset({"a/1", "b/5", "c/3"}), dead_for={"b/2": 1e6}, load={"capacity": 900.0, "demand": 10.0},
+                halls={"a": "east", "b": "west", "c": "east", "d": "west"},
+                groups={"g0": ("a/1", "b/5", "c/3"), "g1": ("a/1", "b/5", "c/3")}, behind={})
+
+
+def history_of(group: str) -> dict[str, Any]:
+    """What a group's history comes to: answers, snapshots, values, and what its leader proposes then."""
+    state, entries = new_state(group), history_entries(group)
+    answers = apply_entries(state, entries[:SNAPSHOT_AT])
+    early = state.dump()
+    answers += apply_entries(state, entries[SNAPSHOT_AT:])
+    late = state.dump()
+    values = {name: canonical(part.dump()) for name, part in state.parts.items()}
+    return {"entries": [entry.body.hex() for entry in entries], "answers": [canonical(answer) for answer in answers],
+            "early": early.hex(), "late": late.hex(), "values": values,
+            "work": [encode(START_MS, command).hex() for command in state.work(leaders_view())]}
+
+
+@pytest.mark.parametrize("group", HISTORIES)
+def test_a_history_comes_to_the_same_answers_snapshots_and_work(group: str) -> None:
+    made, stated = history_of(group), golden("cluster/histories.json")[group]
+    for name in stated:
+        assert made[name] == stated[name], name
+    assert made.keys() == stated.keys()
+
+
+@pytest.mark.parametrize("group", HISTORIES)
+def test_a_golden_snapshot_and_the_golden_entries_behind_it_come_to_the_same_state(group: str) -> None:
+    stated = golden("cluster/histories.json")[group]
+    state = new_state(group)
+    state.restore(NODE_TIME_MS, bytes.fromhex(stated["early"]))
+    assert state.dump().hex() == stated["early"]
+    answers = [state.apply(NODE_TIME_MS, index, bytes.fromhex(body))
+               for index, body in enumerate(stated["entries"], 1) if index > SNAPSHOT_AT]
+    assert [canonical(answer) for answer in answers] == stated["answers"][SNAPSHOT_AT - 1:]
+    assert state.dump().hex() == stated["late"]
+    assert {name: canonical(part.dump()) for name, part in state.parts.items()} == stated["values"]
+
+
+def test_the_histories_fill_every_part() -> None:
+    for group in HISTORIES:
+        for name, part in new_state(group).parts.items():
+            assert golden("cluster/histories.json")[group]["values"][name] != canonical(part.dump()), name
+
+
+# The store ------------------------------------------------------------------------------------------------------------
+
+
+@pytest.fixture
+def folder(tmp_path: Path) -> Path:
+    """A copy of the golden store."""
+    return Path(shutil.copytree(STORE, tmp_path / "store"))
+
+
+def opened(folder: Path) -> Disk:
+    """The store in a folder, which must not be made anew."""
+    made = open_store(folder, CLUSTER, MEMBER, fresh=lambda: "made anew")
+    assert isinstance(made, Disk), made
+    assert not made.faults and made.incarnation == INCARNATION
+    return made
+
+
+def rebuilt(group: str, saved: Saved) -> GroupState:
+    """A group's state out of its snapshot and entries."""
+    state = new_state(group)
+    if saved.snapshot is not None:
+        state.restore(NODE_TIME_MS, saved.snapshot.body)
+    apply_entries(state, saved.entries)
+    return state
+
+
+def store_values(folder: Path) -> dict[str, Any]:
+    """What a store gives back, and what that comes to."""
+    disk = opened(folder)
+    disk.close()
+    return {"saved": {name: canonical(saved) for name, saved in sorted(disk.saved.items())},
+            "states": {name: rebuilt(name, disk.saved[name]).dump().hex() for name in ("g0", *HISTORIES)},
+            "rows": {table: [canonical(row) for row in rows_of(folder, table)] for table in TABLES}}
+
+
+def rows_of(folder: Path, table: str) -> list[tuple[Any, ...]]:
+    """A table of the store, checksums included."""
+    database = sqlite3.connect(folder / NAME)
+    try:
+        return database.execute(f"SELECT * FROM {table} ORDER BY 1, 2").fetchall()
+    finally:
+        database.close()
+
+
+def schema_of(folder: Path) -> list[tuple[str, str]]:
+    """Tables and their columns, as SQLite has them."""
+    database = sqlite3.connect(folder / NAME)
+    try:
+        return database.execute("SELECT name, sql FROM sqlite_master WHERE sql IS NOT NULL ORDER BY name").fetchall()
+    finally:
+        database.close()
+
+
+def test_the_golden_store_reads_as_stated_and_needs_no_repair(folder: Path) -> None:
+    assert store_values(folder) == golden("store/values.json")
+    assert not list(folder.glob("damaged-*"))
+
+
+def test_the_golden_store_lies_partly_in_the_write_ahead_log() -> None:
+    assert (STORE / f"{NAME}-wal").stat().st_size > 4096
+
+
+def test_the_golden_store_holds_the_history(folder: Path) -> None:
+    """Snapshot and entries come to what the history comes to without a store."""
+    disk = opened(folder)
+    disk.close()
+    for group in HISTORIES:
+        state = rebuilt(group, disk.saved[group])
+        assert state.dump().hex() == golden("cluster/histories.json")[group]["late"]
+        assert disk.saved[group].snapshot is not None and disk.saved[group].entries[0].index == SNAPSHOT_AT + 1
+
+
+def test_the_same_records_are_written_to_the_same_rows_as_ever(folder: Path, tmp_path: Path) -> None:
+    fresh = write_store(tmp_path / "fresh")
+    fresh.close()
+    assert sorted(path.name for path in fresh.folder.iterdir()) == sorted({"lock", "told", NAME})
+    assert store_values(fresh.folder) == golden("store/values.json")
+    assert schema_of(fresh.folder) == schema_of(folder)
+    assert (fresh.folder / "told").read_bytes() == (folder / "told").read_bytes()
+
+
+# The operators' calls -------------------------------------------------------------------------------------------------
+
+
+class AnsweringNode:
+    """In the node's place: the groups of a store without an election, each call a second behind the one before.
+    A node that is never driven tells the status."""
+
+    def __init__(self, setup: Setup, saved: dict[str, Saved], draw: Random, now: float, wall: float,
+                 rules: Invariants) -> None:
+        self.states = {name: rebuilt(name, saved[name]) for name in (FLEET, "g0", OTHER)}
+        self._node = Node(setup, saved, Random(1), NODE_TIME_MS, START_MS, rules)
+        self._at_ms = START_MS + 100_000.0
+        self.due = math.inf
+
+    def handle(self, now: float, wall: float, event: NodeEvent) -> list[Effect]:
+        """Answer a call."""
+        if not isinstance(event, Call):
+            return []
+        self._at_ms += 1000.0
+        command = event.command
+        group = group_of(command.key(), FOUNDING.groups)
+        if command.reads:
+            return [Done(event.token, self.states[group].look(command))]
+        return [Done(event.token, self.apply(group, encode(self._at_ms, command)))]
+
+    def apply(self, group: str, body: bytes) -> Applied:
+        """One more entry of a group."""
+        state = self.states[group]
+        return state.apply(NODE_TIME_MS, state.index + 1, body)
+
+    def status(self) -> dict[str, Any]:
+        """Of the node that was opened with the store."""
+        return self._node.status()
+
+
+def service_section(folder: Path) -> Fleet:
+    """The operators' file; nobody listens at the others' addresses."""
+    members = [{"name": name, "hall": hall, "address": f"{HOST}:{port}"}
+               for name, hall, port in (("a", "east", free()), ("b", "west", 1), ("c", "east", 2))]
+    return msgspec.convert({"enabled": True, "name": CLUSTER, "folder": str(folder), "members": members}, Fleet)
+
+
+def answers_to(calls: list[dict[str, str]], folder: Path) -> list[str]:
+    """The lines that a service on that store answers, call by call.  An "entry" is one of the fleet's own group (hex)
+    that no operator may call for; its answer is in canonical form."""
+    async def ask() -> list[str]:
+        service = Service(service_section(folder), MEMBER, make=AnsweringNode)
+        service.start()
+        await until(lambda: service.node is not None or service.failed is not None)
+        try:
+            node = service.node
+            assert isinstance(node, AnsweringNode), service.failed
+            return [(await service.answer(one["call"].encode())).decode() if "call" in one else
+                    canonical(node.apply(FLEET, bytes.fromhex(one["entry"]))) for one in calls]
+        finally:
+            service.close()
+
+    return asyncio.run(asyncio.wait_for(ask(), 20))
+
+
+def test_calls_of_operators_are_answered_as_ever(folder: Path) -> None:
+    stated = golden("cluster/calls.json")
+    assert answers_to(stated, folder) == [one["answer"] for one in stated]
+
+
+def test_every_call_of_operators_is_among_them() -> None:
+    taken = [one["call"] for one in golden("cluster/calls.json") if "call" in one and one["answer"].startswith("+OK")]
+    read = [read_call(call.encode()) for call in taken]
+    assert {type(one) for one in read if isinstance(one, Command)} == set(known().values())
+    assert "status" in read
