Add golden files of links, a node's answers and the words of every error

Cause: frames that links build by hand, replies passed on between members, a forced group's log and errors that no sample call meets were not stated yet.

Clocks are set and the seed of the node's draws is fixed.

--- a/tests/test_golden_cluster.py
+++ b/tests/test_golden_cluster.py
@@ -6,6 +6,7 @@
 import json
 import math
 import shutil
+import socket
 import sqlite3
 from enum import Enum
 from pathlib import Path
@@ -15,19 +16,21 @@
 import msgspec
 import pytest
 
-from badgeryoke.fleet.calls import known, read_call
-from badgeryoke.fleet.service import Service
+from badgeryoke.fleet.calls import known, line_of, read_call
+from badgeryoke.fleet.links import Links, frame
+from badgeryoke.fleet.service import Service, setup_of
 from badgeryoke.fleet.settings import Fleet
 from badgeryoke.fleet.store import NAME, Disk, open_store
-from fleet import contracts, groups, messages, owed, rollout
+from fleet import contracts, groups, messages, owed, promises, rollout
 from fleet.connections import Ask as ConnectionsAsk
 from fleet.errors import AnyError, FleetError
-from fleet.events import Call, Done, Effect, NodeEvent, Saved
+from fleet.events import Call, Done, Effect, NodeEvent, Received, Saved, Send, Stored
 from fleet.founding import Record as FoundingRecord
 from fleet.groups import group_of
 from fleet.invariants import Invariants, Rule
 from fleet.messages import AnyMessage, Message
 from fleet.node import Node
+from fleet.node import _replies as forwarded_answers
 from fleet.part import FLEET, Applied, Command, View
 from fleet.setup import Setup
 from fleet.state import REGISTRY, GroupState, encode
@@ -44,7 +47,18 @@
     new_state,
     write_store,
 )
-from tests.cluster_samples import CASES, CLUSTER, COMMANDS, ERRORS, FOUNDING, MESSAGES, START_MS, Case
+from tests.cluster_samples import (
+    CASES,
+    CLUSTER,
+    COMMANDS,
+    ERRORS,
+    FOUNDING,
+    MESSAGES,
+    RECEIVER,
+    SENDER,
+    START_MS,
+    Case,
+)
 from tests.standins import HOST
 from tests.test_fleet_service import free
 from tests.test_service import until
@@ -339,3 +353,130 @@
     read = [read_call(call.encode()) for call in taken]
     assert {type(one) for one in read if isinstance(one, Command)} == set(known().values())
     assert "status" in read
+
+
+# What goes between members --------------------------------------------------------------------------------------------
+
+
+async def next_frame(reader: asyncio.StreamReader) -> str:
+    """One frame off a link, as it came."""
+    size = await reader.readexactly(4)
+    return (size + await reader.readexactly(int.from_bytes(size, "big"))).hex()
+
+
+async def dialled() -> dict[str, str]:
+    """What links that dial say to whoever answers."""
+    spoken: asyncio.Future[dict[str, str]] = asyncio.get_running_loop().create_future()
+
+    async def answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        hello = await next_frame(reader)
+        writer.write(frame(messages.Envelope(messages.VERSION, CLUSTER, RECEIVER, SENDER, ())))
+        spoken.set_result({"hello": hello, "messages": await next_frame(reader), "question": await next_frame(reader)})
+        writer.close()
+
+    async with await asyncio.start_server(answer, HOST, 0) as server:
+        address = HOST, int(server.sockets[0].getsockname()[1])
+        links = Links(CLUSTER, SENDER, {"b": address}, lambda sender, those: None, lambda error: None, Random(1))
+        for _, message in MESSAGES:
+            links.send(RECEIVER, message)
+        try:
+            return await spoken
+        finally:
+            links.end()
+
+
+async def answered() -> dict[str, str]:
+    """What links that are dialled answer."""
+    listening = socket.create_server((HOST, 0))
+    links = Links(CLUSTER, RECEIVER, {"a": (HOST, 1)}, lambda sender, those: None, lambda error: None, Random(1))
+    links.listen([listening])
+    reader, writer = await asyncio.open_connection(HOST, listening.getsockname()[1])
+    try:
+        hello = frame(messages.Envelope(messages.VERSION, CLUSTER, SENDER, "b", ()))
+        writer.write(hello)
+        first = await next_frame(reader)
+        writer.write(hello)
+        return {"hello": first, "answer": await next_frame(reader)}
+    finally:
+        writer.close()
+        links.end()
+
+
+def link_frames() -> dict[str, dict[str, str]]:
+    """All frames of either side."""
+    return {"dialled": asyncio.run(asyncio.wait_for(dialled(), 20)),
+            "answered": asyncio.run(asyncio.wait_for(answered(), 20))}
+
+
+def test_links_speak_as_ever() -> None:
+    assert link_frames() == golden("cluster/exchanges.json")["links"]
+
+
+def node_events() -> list[NodeEvent]:
+    """What happens to a member that comes back with the golden store: a leader is heard, calls come and go."""
+    last = history_entries(OTHER)[-1]
+    put = promises.Promise(id="x1", name="note", value="armed")
+    entry = messages.Entry(last.index + 1, 8, messages.COMMAND, encode(START_MS + 70_000.0, put))
+    group = group_of(put.key(), FOUNDING.groups)
+    append = messages.Append(group=OTHER, term=8, previous=last.index, previous_term=last.term, entries=(entry,),
+                             commit=last.index, round=1)
+    beat = messages.Append(group=OTHER, term=8, previous=entry.index, previous_term=8, entries=(), commit=entry.index,
+                           round=2)
+    call = encode(START_MS + 71_000.0, put)
+    received: list[messages.AnyMessage] = [
+        messages.Forward(token="c.1", group=group, body=call, hops=1),
+        messages.Forward(token="c.2", group="g9", body=call, hops=1),
+        messages.Forward(token="c.3", group=group, body=b"\xc1", hops=1),
+        messages.Forward(token="c.4", group=group, hops=1,
+                         body=encode(START_MS, promises.Promise(id="x2", name="", value=""))),
+        messages.WhoAreYou(sender_hall="east"),
+        messages.Ping(seq=3, target="a/1", gossip=(), wall=START_MS),
+        messages.Ask(group="g0", term=5, last_index=9, last_term=4, pre=False, lead=True),
+        append]
+    return [*(Received("c/3", message) for message in received), Stored("g0", 1), Stored(OTHER, 1), Stored(OTHER, 2),
+            Received("c/3", beat), Call("a.1", put), Call("a.2", promises.PromiseRead(id="x3", name="note"))]
+
+
+def node_exchange(folder: Path) -> list[list[str]]:
+    """What the node wants done at each event; messages also by their bytes."""
+    disk = opened(folder)
+    disk.close()
+    setup = setup_of(service_section(folder), MEMBER, disk.incarnation)
+    node = Node(setup, disk.saved, Random(1), NODE_TIME_MS, START_MS + 80_000.0, Invariants(strict=True))
+    told: list[list[str]] = []
+    for event in node_events():
+        effects = node.handle(NODE_TIME_MS + 1.0, START_MS + 80_000.0, event)
+        told.append([canonical(effect) for effect in effects] + [
+            msgspec.msgpack.encode(effect.message).hex() for effect in effects if isinstance(effect, Send)])
+    return told
+
+
+def test_a_node_that_comes_back_answers_and_stores_as_ever(folder: Path) -> None:
+    assert node_exchange(folder) == golden("cluster/exchanges.json")["node"]
+
+
+def forced_group(folder: Path) -> str:
+    """The log of a group that goes on by hand without its other members."""
+    disk = opened(folder)
+    disk.close()
+    return canonical(groups.forced(disk.saved[OTHER], OTHER, "a/1", ("b/2", "c/3"), START_MS + 90_000.5))
+
+
+def test_a_group_that_goes_on_by_hand_has_the_same_log_as_ever(folder: Path) -> None:
+    assert forced_group(folder) == golden("cluster/exchanges.json")["forced"]
+
+
+REPLIES = ((Applied(value=["armed", 3]), None, "c/3"), *((None, error, "c/3") for error in ERRORS))
+
+
+@pytest.mark.parametrize("reply", REPLIES, ids=["applied", *(error.code for error in ERRORS)])
+def test_the_body_of_a_forwarded_answer_is_as_ever(reply: tuple[Any, Any, str]) -> None:
+    name = "applied" if reply[1] is None else reply[1].code
+    body = golden("cluster/exchanges.json")["replies"][name]
+    assert msgspec.msgpack.encode(reply).hex() == body
+    assert forwarded_answers.decode(bytes.fromhex(body)) == reply
+
+
+@pytest.mark.parametrize("error", ERRORS, ids=lambda error: error.code)
+def test_the_line_of_an_error_is_as_ever(error: AnyError) -> None:
+    assert line_of(error).decode() == golden("cluster/exchanges.json")["lines"][error.code]
