Hold the gateway's state, wires, figures and messages in golden files

Cause: package layout, class names, field names and attributes are about to change throughout, and nothing held the bytes and texts that must stay.

Change: tests/golden/gateway holds what makes: the state of a handover and the actions that follow from it, the lines between the two processes, METRICS and the other calls of the second address, `check`, `lab list`, `lab sim` and a result folder, every message that names a key of settings, platform's file, operators' files or server list, the simulator's wire, RESP2, counter calls, discovery requests and Diameter messages. Nothing in the repository writes them; a missing one fails. Product code is not touched.

--- /dev/null
+++ b/tests/gateway_drive.py
@@ -0,0 +1,99 @@
+"""A seeded world around one decision module: clients, servers and a counter that answer by chance."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections import defaultdict
+from dataclasses import replace
+
+from martenstep import interface as api
+from martenstep.decide import Gateway
+from tests import helpers
+from tests.canonical import canonical
+
+OPEN_CAPPED = api.Plan("open", open_limit=3)
+SETTINGS = replace(helpers.SETTINGS, plans=(helpers.PLAIN, helpers.CAPPED, OPEN_CAPPED), max_units=2.0)
+SERVERS = (helpers.server(1), helpers.server(2), helpers.server(3, "b"), helpers.server(4, "b"))
+FRESH_AT = helpers.START + 6_000.0
+FRESH = helpers.server(5, started=FRESH_AT - 50.0)
+CUSTOMERS = {number: ("plain", "capped", "open", "capped")[number % 4] for number in range(7, 23)}
+CLASSES = ("read", "write", "pay")
+VERDICTS = (api.Verdict.OK,) * 12 + (api.Verdict.ERROR, api.Verdict.FULL, api.Verdict.CONNECT_FAILED,
+                                     api.Verdict.TIMEOUT, api.Verdict.RESET)
+COUNTER_VERDICTS = (api.Verdict.OK,) * 9 + (api.Verdict.TIMEOUT, api.Verdict.FULL)
+OTHERS_PER_CALL = 0.2  # units that another gateway tells the counter between two calls
+ARRIVAL_MS, ANSWER_MS, COUNTER_MS = 12.0, 60.0, (1.0, 30.0)
+
+
+class Drive:
+    """Plays events in the order of their times and answers the actions they cause."""
+
+    def __init__(self, gateway: Gateway, seed: int, now: float) -> None:
+        self.gateway, self.now = gateway, now
+        self._random = random.Random(seed)
+        self._prefix = f"d{seed}-"
+        self._due: list[tuple[float, int, api.Event]] = []
+        self._scheduled = 0
+        self._arrived = 0
+        self._attempts: defaultdict[str, int] = defaultdict(int)
+        self._totals: defaultdict[int, float] = defaultdict(float)
+        self.record: list[str] = []
+        self._arrive_later()
+
+    def schedule(self, at: float, event: api.Event) -> None:
+        """Have an event come at a time."""
+        self._scheduled += 1
+        heapq.heappush(self._due, (at, self._scheduled, event))
+
+    def play(self, events: int) -> None:
+        """Handle so many events; each is recorded with its time and its actions."""
+        for _ in range(events):
+            self.now, _, event = heapq.heappop(self._due)
+            if isinstance(event, api.Request):
+                self._arrive_later()
+            actions = self.gateway.handle(self.now, event)
+            self.record.append(canonical((self.now, event, actions)))
+            self.answer(actions)
+
+    def answer(self, actions: list[api.Action]) -> None:
+        """Have the answers to these actions come."""
+        for action in actions:
+            match action:
+                case api.Send():
+                    self._served(action)
+                case api.Count(name=name, units=units):
+                    self._counted(name, units)
+                case api.Wake(at_ms=at, token=token):
+                    self.schedule(max(at, self.now), api.Due(token))
+                case api.Cancel(id=request, attempt=attempt):
+                    self.schedule(self.now, api.Outcome(request, attempt, 1, api.Verdict.CANCELLED, 1.0, False))
+                case _:
+                    pass
+
+    def _arrive_later(self) -> None:
+        draw = self._random
+        self._arrived += 1
+        customer = draw.choice(list(CUSTOMERS))
+        at = self.now + draw.expovariate(1 / ARRIVAL_MS)
+        request = helpers.request(f"{self._prefix}{self._arrived}", draw.choice(CLASSES), CUSTOMERS[customer], customer,
+                                  draw.choice((0.25, 0.5, 1.0)), 2, draw.choice((300.0, 2000.0, 4000.0)))
+        self.schedule(at, request)
+        if draw.random() < 0.05:
+            self.schedule(at + 20.0, api.Left(request.id))
+
+    def _served(self, send: api.Send) -> None:
+        attempt = self._attempts[send.id]
+        self._attempts[send.id] += 1
+        rtt = self._random.expovariate(1 / ANSWER_MS)
+        verdict = self._random.choice(VERDICTS)
+        outcome = helpers.outcome(send, verdict, attempt, rtt)
+        self.schedule(self.now + rtt, replace(outcome, true_units=self._random.choice((0.0, 0.25, 1.5))))
+
+    def _counted(self, name: int, units: float) -> None:
+        verdict = self._random.choice(COUNTER_VERDICTS)
+        rtt = self._random.uniform(*COUNTER_MS)
+        if verdict is not api.Verdict.FULL:
+            self._totals[name] += units + OTHERS_PER_CALL
+        total = self._totals[name] if verdict is api.Verdict.OK else 0.0
+        self.schedule(self.now + rtt, api.Total(name, verdict, rtt, total))
--- /dev/null
+++ b/tests/test_golden_diameter.py
@@ -0,0 +1,241 @@
+"""Diameter bytes: the messages of both sides for fixed inputs."""
+
+from __future__ import annotations
+
+import asyncio
+import struct
+from collections.abc import Callable
+from typing import cast
+
+from tornado.iostream import IOStream
+
+from badgeryoke.actor import Turns
+from badgeryoke.diameter import codec, server_link
+from badgeryoke.diameter.codec import Avp, Code, Command, Message
+from badgeryoke.diameter.peer import Identity, Peer
+from badgeryoke.execution import End, Execution, Query
+from tests.canonical import canonical
+from tests.golden_files import assert_golden, hex_lines, text_lines
+from tests.standins import NOW_MS, avp, avps, ccr, cer, connect, event_time, message, one_gateway
+from tests.test_core import FakeLoop
+from tests.test_diameter import CLOSED, FAULTS
+from tests.test_front import play
+
+REQUESTS, ANSWERS = "diameter-ccr.txt", "diameter-answers.txt"
+PEER, SETTLED = "diameter-peer.txt", "diameter-settled.txt"
+ME = Identity("gw0.yoke.example", "yoke.example", "127.0.0.1", 1_790_000_000)
+WATCHDOG_S = 30.0
+FIRST_ID = 1000  # of the connection's requests; by chance where it is not set
+HEADER = 20
+
+# What a server is asked -------------------------------------------------------------------------------
+
+CCRS: tuple[tuple[str, Query, bool, int | None, bool], ...] = (
+    ("check", Query("r1", "read", "plain", 5, 900.0, 1.0, 2), True, 2, False),
+    ("debit", Query("r2", "write", "plain", 2**33 - 1, 900.0, 2.5, 3, key="5c0f6e1a2b3d4c59"), False, 1, False),
+    ("repeat", Query("r2", "write", "plain", 5, 900.0, 2.0, 3, key="5c0f6e1a2b3d4c59"), False, 1, True),
+    ("no service", Query("r3", "read", "plain", 0, 900.0, 0.4, 1), True, None, False),
+    ("with a value", Query("r4", "write", "plain", 7, 900.0, 1e6, 1, key="k", body=b"BO\0DY"), False, 3, False))
+
+
+def requests() -> list[tuple[str, bytes]]:
+    """The CCR of each query."""
+    return [(name, server_link.encode(asked, ME, safe, service, FIRST_ID + place, repeat))
+            for place, (name, asked, safe, service, repeat) in enumerate(CCRS)]
+
+
+def test_each_query_becomes_the_golden_request() -> None:
+    assert_golden(REQUESTS, hex_lines(requests()))
+
+
+def test_a_golden_request_is_read_back_whole() -> None:
+    for _, data in requests():
+        [read] = codec.Framer().feed(data)
+        assert read.encode() == data and read.command == Command.CREDIT_CONTROL
+
+
+# How a server's answer is read ------------------------------------------------------------------------
+
+
+def answer_of(result: int, *more: Avp) -> list[Avp]:
+    """An answer's AVPs."""
+    return [codec.u32(Code.RESULT_CODE, result), *more]
+
+
+GRANTED = codec.units_avp(Code.GRANTED_SERVICE_UNIT, 3)
+REPLIES: tuple[tuple[str, list[Avp]], ...] = (
+    ("success", answer_of(2001, GRANTED, codec.value_avp(b"value"))), ("success alone", answer_of(2001)),
+    ("limited success", answer_of(2002, GRANTED)), ("too busy", answer_of(3004)), ("unable to deliver", answer_of(3002)),
+    ("rating failed", answer_of(5031)), ("no result", []), ("result of one byte", [Avp(Code.RESULT_CODE, b"1")]),
+    ("units of one byte", answer_of(2001, codec.group(Code.GRANTED_SERVICE_UNIT, [Avp(417, b"1")]))),
+    ("value that is cut", answer_of(2001, Avp(Code.SERVICE_PARAMETER_INFO, b"\0\0"))))
+
+
+def settled() -> list[str]:
+    """How attempts end by the answers."""
+    lines = []
+    for name, reply in REPLIES:
+        ends: list[End] = []
+        execution = Execution(CCRS[0][1], 0, 1, NOW_MS, NOW_MS + 900.0, lambda _, end: ends.append(end))  # noqa: B023
+        execution.written()
+        complaint = server_link.settle(execution, reply)
+        lines.append(f"{name}: {canonical((ends, complaint))}")
+    return lines
+
+
+def test_each_answer_ends_an_attempt_in_the_golden_way() -> None:
+    assert_golden(SETTLED, text_lines(settled()))
+
+
+# The base protocol on one connection ------------------------------------------------------------------
+
+
+class Stream:
+    """Keeps what is written."""
+
+    error = None
+
+    def __init__(self) -> None:
+        self.written: list[bytes] = []
+        self.ended = False
+
+    def set_close_callback(self, callback: Callable[[], None]) -> None: ...
+
+    def write(self, data: bytes) -> None:
+        self.written.append(data)
+
+    def writing(self) -> bool:
+        return False
+
+    def close(self) -> None:
+        self.ended = True
+
+    def closed(self) -> bool:
+        return self.ended
+
+
+class OpeningPeer(Peer):
+    """The side that sends the CER."""
+
+    expects_request = False
+
+
+def received(peer: Peer, stream: Stream, data: bytes = b"") -> bytes:
+    """What a connection writes when it has taken something in."""
+    stream.written.clear()
+    if data:
+        peer.deliver(peer._arrived, data)
+    return b"".join(stream.written)
+
+
+BASE = avp(264, "node.example") + avp(296, "yoke.example")
+AVP_TOO_LONG = struct.pack(">II", 1, 0x40 << 24 | 99)
+CEA = message(0, 257, 0, FIRST_ID + 1, FIRST_ID + 1, avp(268, 2001) + BASE + avp(258, 4))
+
+
+def opened_side() -> list[tuple[str, bytes]]:
+    """What is written on a connection that the other side opened."""
+    loop, stream = FakeLoop(), Stream()
+    peer = Peer(cast(IOStream, stream), ME, Turns(loop), WATCHDOG_S)
+    peer._next_id = FIRST_ID
+    written = [("CEA", received(peer, stream, cer())), ("second CER", received(peer, stream, cer(hop=2))),
+               ("DWA", received(peer, stream, message(0x80, 280, 0, 3, 4, BASE)))]
+    stream.written.clear()
+    loop.run(WATCHDOG_S * 1.2)
+    written.append(("DWR", b"".join(stream.written)))
+    peer.deliver(peer._arrived, message(0, 280, 0, FIRST_ID + 1, FIRST_ID + 1, avp(268, 2001) + BASE))
+    written += [("unknown command", received(peer, stream, message(0x80, 271, 0, 5, 6, BASE))),
+                ("E bit", received(peer, stream, message(0xA0, 280, 0, 7, 8, BASE))),
+                ("AVP cut", received(peer, stream, message(0x80, 280, 0, 9, 9, BASE + AVP_TOO_LONG))),
+                ("application", received(peer, stream, message(0xC0, 272, 5, 9, 9, BASE))),
+                ("DPA", received(peer, stream, message(0x80, 282, 0, 9, 10, BASE + avp(273, 0))))]
+    return written
+
+
+def opening_side() -> list[tuple[str, bytes]]:
+    """What is written on a connection that this side opened."""
+    loop, stream = FakeLoop(), Stream()
+    peer = OpeningPeer(cast(IOStream, stream), ME, Turns(loop), WATCHDOG_S)
+    peer._next_id = FIRST_ID
+    peer.deliver(peer.request, Command.CAPABILITIES_EXCHANGE, peer.capabilities())
+    written = [("CER", b"".join(stream.written)), ("after CEA", received(peer, stream, CEA))]
+    stream.written.clear()
+    peer.deliver(peer.disconnect, codec.DO_NOT_WANT_TO_TALK_TO_YOU)
+    return [*written, ("DPR", b"".join(stream.written))]
+
+
+def refused_exchanges() -> list[tuple[str, bytes]]:
+    """What a CER gets that does not lead to an open connection."""
+    cases = (("no credit control", cer(app=1)), ("relay", cer(app=0xFFFFFFFF)), ("own host", cer(ME.host)),
+             ("no host", message(0x80, 257, 0, 1, 1, avp(296, "example") + avp(258, 4))),
+             ("other command first", message(0x80, 280, 0, 1, 1, BASE)))
+    found = []
+    for name, data in cases:
+        stream = Stream()
+        peer = Peer(cast(IOStream, stream), ME, Turns(FakeLoop()), WATCHDOG_S)
+        found.append((name, received(peer, stream, data)))
+    return found
+
+
+def test_the_base_protocol_is_the_golden_one() -> None:
+    assert_golden(PEER, hex_lines([*opened_side(), *opening_side(), *refused_exchanges()]))
+
+
+# What a client is answered ----------------------------------------------------------------------------
+
+GOOD: tuple[tuple[str, bytes], ...] = (
+    ("debit", ccr(7, hop=70)), ("check", ccr(8, hop=80, action=2)), ("value", ccr(11, extra=avp(440, avp(441, 1)))),
+    ("proxy", ccr(12, extra=avp(284, avp(280, "p") + avp(33, "state")))),
+    ("repeat in the window", ccr(13, flags=0xD0, extra=event_time(NOW_MS))),
+    ("same again", ccr(7, hop=71)), ("same again, marked", ccr(7, hop=72, flags=0xD0, extra=event_time(NOW_MS))))
+
+
+async def whole_message(reader: asyncio.StreamReader) -> bytes:
+    """The bytes of one message."""
+    head = await reader.readexactly(HEADER)
+    length = struct.unpack(">I", head[:4])[0] & 0xFFFFFF
+    return head + await reader.readexactly(length - HEADER)
+
+
+def without_start(exchange: bytes) -> bytes:
+    """A capabilities answer with 0 for its Origin-State-Id, which is the time of the process's start."""
+    started = avps(exchange[HEADER:])[Code.ORIGIN_STATE_ID]
+    return exchange.replace(avp(Code.ORIGIN_STATE_ID, started), avp(Code.ORIGIN_STATE_ID, b"\0" * 4))
+
+
+def answers() -> list[tuple[str, bytes]]:
+    """What each request gets from a gateway before a RESP2 server."""
+    found: list[tuple[str, bytes]] = []
+    faulty = [(str(case.id), cast(bytes, case.values[0])) for case in FAULTS]
+    cut_off = [(str(case.id), cast(bytes, case.values[0])) for case in CLOSED if case.values[1] is not None]
+
+    async def record() -> None:
+        async with one_gateway(diameter=True) as (app, _, _):
+            reader, writer = await connect(app.diameter_address)
+            writer.write(cer())
+            found.append(("CEA", without_start(await whole_message(reader))))
+            for name, request in (*GOOD, *faulty):
+                writer.write(request)
+                found.append((name, await whole_message(reader)))
+            writer.close()
+            for name, request in cut_off:
+                reader, writer = await connect(app.diameter_address)
+                writer.write(cer())
+                await whole_message(reader)
+                writer.write(request)
+                found.append((f"{name}, to the connection's end", await reader.read()))
+                writer.close()
+
+    play(record)
+    return found
+
+
+def test_each_request_of_a_client_gets_its_golden_answer() -> None:
+    assert_golden(ANSWERS, hex_lines(answers()))
+
+
+def test_messages_are_made_as_the_standard_has_them() -> None:
+    """The codec against the independent one of the stand-ins."""
+    made = Message(codec.REQUEST, Command.DEVICE_WATCHDOG, 0, 3, 4, codec.encode([
+        codec.text(Code.ORIGIN_HOST, "node.example"), codec.text(Code.ORIGIN_REALM, "yoke.example")]))
+    assert made.encode() == message(0x80, 280, 0, 3, 4, BASE)
--- /dev/null
+++ b/tests/test_golden_settings.py
@@ -0,0 +1,168 @@
+"""Every message that names a key: of the platform's file, of its settings, of the operators' files."""
+
+from __future__ import annotations
+
+import copy
+import json
+from collections.abc import Callable, Iterable
+from pathlib import Path
+from typing import Any
+
+from badgeryoke.config import ConfigError, read_config, read_diameter
+from badgeryoke.host_group import read_roster
+from badgeryoke.operators import OperatorsError, read_operators
+from martenstep import interface as api
+from martenstep.settings import settings_from, unknown
+from tests.golden_files import assert_golden, text_lines
+from tests.standins import entry
+from tests.test_reload import at
+from tests.test_settings import FULL, USED, placed
+
+SETTINGS, CONFIG = "faults-settings.txt", "faults-config.txt"
+OPERATORS, ROSTER = "faults-operators.txt", "faults-roster.txt"
+GOOD = "good"
+VALUES: tuple[Any, ...] = ("5", 5, -1, 0, 0.5, 1e308, True, False, "", "x" * 300, [], [1], {}, "no such word")
+PLATFORM: dict[str, Any] = {
+    "name": "g0", "listen": "127.0.0.1:6379", "discovery": "127.0.0.1:1", "counter": "127.0.0.1:2", "seed": "ff",
+    "mgmt": "127.0.0.1:3", "limits": {"sockets": 1024, "memory_mb": 192}, "settings": FULL,
+    "known": {"version": 1, "full": True, "servers": [entry("a", 1)]}}
+PLATFORM_KEYS = ("listen", "discovery", "counter", "seed", "mgmt", "limits", "limits.sockets", "limits.memory_mb",
+                 "settings", "settings.policy_limits.dial_timeout_ms", "settings.policy_limits.conn_idle_ms",
+                 "settings.feedback", "settings.feedback.fields", "settings.feedback.how", "known", "known.servers")
+ADDRESSES = ("127.0.0.1:0", "localhost:5", ":5", "127.0.0.1", "[::1]:5", "127.0.0.1:99999")
+ENTRY_KEYS = ("id", "addr", "zone", "kind", "cell", "state", "weight", "started_ms")
+
+
+def outcome(read: Callable[[], object]) -> str:
+    """What the reading says."""
+    try:
+        read()
+    except OperatorsError as fault:
+        return " | ".join(fault.faults)
+    except (ConfigError, ValueError) as fault:
+        return str(fault)
+    return GOOD
+
+
+def shown(value: object) -> str:
+    """A value as a short word."""
+    return json.dumps(value)[:24]
+
+
+def about(path: str, raw: dict[str, Any], values: Iterable[Any], read: Callable[[dict[str, Any]], object]) -> list[str]:
+    """What is said with a key missing, and with each of the values under it."""
+    lines = [f"{path} missing: {outcome(lambda: read(at(raw, path)))}"]
+    for value in values:
+        made = at(raw, path, value)
+        lines.append(f"{path} = {shown(value)}: {outcome(lambda: read(made))}")  # noqa: B023
+    return lines
+
+
+def settings_told() -> list[str]:
+    """Of the settings: each key that is used, and keys that no page names."""
+    lines = [line for path in USED for line in about(placed(path), FULL, VALUES, settings_from)]
+    doubled = copy.deepcopy(FULL)
+    doubled["classes"][1]["name"] = doubled["classes"][0]["name"]
+    lines.append(f"classes, a name twice: {outcome(lambda: settings_from(doubled))}")
+    strange = at(at(at(FULL, "zzz", 1), "rules.cold_form", 1), "classes.1.slo", 1)
+    return [*lines, f"unknown: {', '.join(unknown(strange))}"]
+
+
+def config_told(folder: Path) -> list[str]:
+    """Of the platform's file and of the environment."""
+    file = folder / "config.json"
+
+    def read(raw: object, **environ: str) -> object:
+        file.write_text(json.dumps(raw))
+        return read_config({"LB_CONFIG": str(file), **environ}, folder)
+
+    lines = [line for path in PLATFORM_KEYS for line in about(path, PLATFORM, (*VALUES, *ADDRESSES), read)]
+    lines += [f"LB_LISTEN = {text}: {outcome(lambda: read(PLATFORM, LB_LISTEN=text))}"  # noqa: B023
+              for text in ADDRESSES]
+    lines += [f"LB_MGMT = {text}: {outcome(lambda: read(PLATFORM, LB_MGMT=text))}"  # noqa: B023
+              for text in (*ADDRESSES, "127.0.0.1:6379")]
+    lines += [f"LB_SOCKET_FD = {text}: {outcome(lambda: read(PLATFORM, LB_SOCKET_FD=text))}"  # noqa: B023
+              for text in ("x", "-1", "1e9")]
+    lines.append(f"mgmt as listen: {outcome(lambda: read({**PLATFORM, 'mgmt': PLATFORM['listen']}))}")
+    lines.append(f"a list: {outcome(lambda: read([]))}")
+    operators = folder / "deploy" / "badgeryoke.toml"
+    operators.parent.mkdir()
+    operators.write_text("[counter_watch]\nenabled = true\n")
+    uncounted = at(PLATFORM, "settings.family_info.has_counter", False)
+    lines.append(f"a watch without a counter: {outcome(lambda: read(uncounted))}")
+    operators.write_text("[log]\nlevel = 3\n")
+    lines.append(f"operators' file: {outcome(lambda: read(PLATFORM))}")
+    operators.unlink()
+    lines.append(f"no LB_CONFIG: {outcome(lambda: read_config({}, folder))}")
+    file.write_text("{")
+    lines.append(f"no JSON: {outcome(lambda: read_config({'LB_CONFIG': str(file)}, folder))}")
+    file.unlink()
+    lines.append(f"no file: {outcome(lambda: read_config({'LB_CONFIG': str(file)}, folder))}")
+    return lines
+
+
+MEMBERS = "".join(f"[[fleet.members]]\nname = 'm{n}'\nhall = 'h{n}'\naddress = '127.0.0.1:{n}'\n" for n in (1, 2, 3))
+FLEET = "[fleet]\nenabled = true\nname = 'f'\nfolder = 'd'\n"
+OPERATORS_TEXTS = (
+    "", "[log]", "log = 1", "fleet = 1", "zzz = 1", "[counter_watch]\nenable = true", "[counter_watch]\nenabled = 1",
+    "[log]\nformat = 'xml'", "[log]\nlevel = 3", "[log]\nlevels = 'info'", "[fleet]\nenabled = true", FLEET,
+    FLEET + MEMBERS, FLEET + "copies = 2\n" + MEMBERS, FLEET + "copies = 5\n" + MEMBERS,
+    FLEET + "groups = 0\n" + MEMBERS, FLEET + "groups = 257\n" + MEMBERS,
+    FLEET + "capacity = -1.0\n" + MEMBERS, FLEET + "me = 'm9'\n" + MEMBERS,
+    FLEET + "fsink = true\n" + MEMBERS, FLEET + "fsync = 1\n" + MEMBERS, FLEET.replace("'f'", "'f f'") + MEMBERS,
+    FLEET.replace("folder = 'd'\n", "") + MEMBERS, FLEET + MEMBERS.replace("m2", "m1"),
+    FLEET + MEMBERS.replace("h2", "!"),
+    FLEET + MEMBERS.replace("127.0.0.1:2", "127.0.0.1:1"), FLEET + MEMBERS.replace("127.0.0.1:2", "here"),
+    FLEET + MEMBERS.replace("hall = 'h2'\n", ""), FLEET + MEMBERS.replace("hall = 'h2'", "hal = 'h2'"),
+    FLEET + MEMBERS + "[fleet.servers]\nconnections = -1", FLEET + MEMBERS + "[fleet.servers.limits]\ns1 = 0",
+    FLEET + MEMBERS + "[fleet.servers]\nconnection = 1", FLEET + MEMBERS + "[fleet.forced]\ng0 = []",
+    FLEET + MEMBERS + "[fleet.forced]\nx0 = ['m1/1']", FLEET + MEMBERS + "[fleet.forced]\ng0 = ['m1']",
+    FLEET + MEMBERS + "[fleet.timings]\nzzz = 1", "[fleet]\nmembers = 1")
+DIAMETER = "enabled = true\norigin_host = 'g.example'\norigin_realm = 'example'\n"
+DIAMETER_TEXTS = (
+    "", "enabled = 1", "enabled = true", DIAMETER, DIAMETER.replace("'example'", "''"), DIAMETER + "listen = '::1'",
+    DIAMETER + "listen = '10.0.0.1:3868'", DIAMETER + "listen = '10.0.0.1:3868'\nbeyond_loopback = true",
+    DIAMETER + "plans = 1", DIAMETER + "[plans]\n1 = 'none'", DIAMETER + "[plans]\nx = 'field'",
+    DIAMETER + "[plans]\n1 = 2",
+    DIAMETER + "[plans]\n1 = 'field'", DIAMETER + "classes = 1", DIAMETER + "[classes]\ncheck = 'tile-draw'",
+    DIAMETER + "[classes]\ndebit = 'tile-read'", DIAMETER + "[classes]\nother = 'tile-read'",
+    DIAMETER + "[classes]\ncheck = 'tile-read'\ndebit = 'mark-set'", DIAMETER + "server_kinds = 'x'",
+    DIAMETER + "clients = [1]", DIAMETER + "deadline_ms = -1", DIAMETER + "deadline_ms = true",
+    DIAMETER + "watchdog_s = 5", DIAMETER + "answers_kept_s = 0")
+
+
+def operators_told(folder: Path) -> list[str]:
+    """Of the operators' two files."""
+    lines = []
+    operators, diameter = folder / "operators.toml", folder / "diameter.toml"
+    settings: api.Settings = settings_from(FULL)
+    for text in OPERATORS_TEXTS:
+        operators.write_text(text)
+        lines.append(f"{text!r}: {outcome(lambda: read_operators(operators, all_sections=True))}")
+    for text in DIAMETER_TEXTS:
+        diameter.write_text(text)
+        lines.append(f"{text!r}: {outcome(lambda: read_diameter(diameter, settings))}")
+    return lines
+
+
+def roster_told() -> list[str]:
+    """Of a list of servers, as discovery gives it or as the platform's file holds it."""
+    raw = {"version": 1, "full": True, "servers": [entry("a", 1)]}
+    paths = ["version", "full", "servers", *(f"servers.0.{key}" for key in ENTRY_KEYS)]
+    return [line for path in paths for line in about(path, raw, VALUES, read_roster)]
+
+
+def test_what_is_said_of_settings() -> None:
+    assert_golden(SETTINGS, text_lines(settings_told()))
+
+
+def test_what_is_said_of_the_platforms_file(tmp_path: Path) -> None:
+    assert_golden(CONFIG, text_lines(config_told(tmp_path)))
+
+
+def test_what_is_said_of_the_operators_files(tmp_path: Path) -> None:
+    assert_golden(OPERATORS, text_lines(operators_told(tmp_path)))
+
+
+def test_what_is_said_of_a_list_of_servers() -> None:
+    assert_golden(ROSTER, text_lines(roster_told()))
