--- a/tests/test_golden_cluster.py
+++ b/tests/cluster/test_golden_cluster.py
@@ -16,27 +16,32 @@
 import msgspec
 import pytest
 
-from badgeryoke.fleet.calls import known, line_of, read_call
-from badgeryoke.fleet.links import Links, frame
-from badgeryoke.fleet.service import Service, setup_of
-from badgeryoke.fleet.settings import Fleet
-from badgeryoke.fleet.store import NAME, Disk, open_store
-from fleet import contracts, groups, messages, owed, promises, rollout
-from fleet.connections import Ask as ConnectionsAsk
-from fleet.errors import AnyError, FleetError
-from fleet.events import Call, Done, Effect, NodeEvent, Received, Saved, Send, Stored
-from fleet.founding import Record as FoundingRecord
-from fleet.groups import group_of
-from fleet.invariants import Invariants, Rule
-from fleet.messages import AnyMessage, Message
-from fleet.node import Node
-from fleet.node import _replies as forwarded_answers
-from fleet.part import FLEET, Applied, Command, View
-from fleet.setup import Setup
-from fleet.state import REGISTRY, GroupState, encode
-from fleet.timings import Timings
-from tests.canonical import canonical
-from tests.cluster_history import (
+from badgeryoke.cluster import key_value, messages, unreported_usage
+from badgeryoke.cluster.bootstrap import Record as FoundingRecord
+from badgeryoke.cluster.connection_limits import Ask as ConnectionsAsk
+from badgeryoke.cluster.errors import AnyError, FleetError
+from badgeryoke.cluster.events import Call, Done, Effect, NodeEvent, Received, Saved, Send, Stored
+from badgeryoke.cluster.invariants import Invariants, Rule
+from badgeryoke.cluster.messages import AnyMessage, Message
+from badgeryoke.cluster.node import Node
+from badgeryoke.cluster.node import _replies as forwarded_answers
+from badgeryoke.cluster.node_setup import Setup
+from badgeryoke.cluster.placement import directory
+from badgeryoke.cluster.placement.directory import group_of
+from badgeryoke.cluster.reservations import contract
+from badgeryoke.cluster.rolling_restart import restart
+from badgeryoke.cluster.state_machine.machine import REGISTRY, GroupState, encode
+from badgeryoke.cluster.state_machine.part import FLEET, Applied, Command, View
+from badgeryoke.cluster.timings import Timings
+from badgeryoke.gateway.cluster.admin_calls import known, line_of, read_call
+from badgeryoke.gateway.cluster.service import Service, setup_of
+from badgeryoke.gateway.cluster.settings import Fleet
+from badgeryoke.gateway.cluster.storage import NAME, Disk, open_store
+from badgeryoke.gateway.cluster.transport import Links, frame
+from tests.gateway.cluster.test_service import free
+from tests.gateway.test_service import until
+from tests.support.canonical import canonical
+from tests.support.cluster_history import (
     HISTORIES,
     INCARNATION,
     MEMBER,
@@ -47,7 +52,7 @@
     new_state,
     write_store,
 )
-from tests.cluster_samples import (
+from tests.support.cluster_samples import (
     CASES,
     CLUSTER,
     COMMANDS,
@@ -59,11 +64,10 @@
     START_MS,
     Case,
 )
-from tests.standins import HOST
-from tests.test_fleet_service import free
-from tests.test_service import until
+from tests.support.paths import ROOT
+from tests.support.stand_ins import HOST
 
-GOLDEN = Path(__file__).parent / "golden"
+GOLDEN = ROOT / "tests" / "golden"
 STORE = GOLDEN / "store" / "files"
 NODE_TIME_MS = 5000.0  # monotonic, of whatever asks a leader for its work
 TABLES = ("store", "part", "shot", "entry")
@@ -105,11 +109,15 @@
     return set().union(*map(leaves, below)) if below else {kind}
 
 
-@pytest.mark.parametrize(("base", "union", "samples"), [
-    (Message, set(get_args(AnyMessage)), [message for _, message in MESSAGES]),
-    (Command, set(REGISTRY.commands.values()), [command for _, command in COMMANDS]),
-    (FleetError, set(get_args(AnyError)), ERRORS),
-], ids=["messages", "commands", "errors"])
+@pytest.mark.parametrize(
+    ("base", "union", "samples"),
+    [
+        (Message, set(get_args(AnyMessage)), [message for _, message in MESSAGES]),
+        (Command, set(REGISTRY.commands.values()), [command for _, command in COMMANDS]),
+        (FleetError, set(get_args(AnyError)), ERRORS),
+    ],
+    ids=["messages", "commands", "errors"],
+)
 def test_every_type_has_a_sample(base: type, union: set[type], samples: list[Any]) -> None:
     assert len(union) > 10
     assert sorted(map(str, map(type, samples))) == sorted(map(str, union)), "one sample a type"
@@ -119,7 +127,10 @@
 def structs_within(value: object) -> list[msgspec.Struct]:
     """All Structs that a value holds, itself included."""
     if isinstance(value, msgspec.Struct):
-        return [value, *(found for name in value.__struct_fields__ for found in structs_within(getattr(value, name)))]
+        return [
+            value,
+            *(found for name in value.__struct_fields__ for found in structs_within(getattr(value, name))),
+        ]
     if isinstance(value, tuple):
         return [found for one in value for found in structs_within(one)]
     return []
@@ -127,24 +138,53 @@
 
 def test_the_parts_of_messages_and_commands_have_samples_with_no_field_at_its_default() -> None:
     samples = [sample for case in CASES for sample in structs_within(case.value)]
-    parts = {messages.Config, messages.Entry, messages.Rumour, messages.Envelope, FoundingRecord, contracts.Window,
-             contracts.Terms, rollout.Facts, owed.Line, groups.Move, groups.Held, ConnectionsAsk, Applied}
+    parts = {
+        messages.Config,
+        messages.Entry,
+        messages.Rumour,
+        messages.Envelope,
+        FoundingRecord,
+        contract.Window,
+        contract.Terms,
+        restart.Facts,
+        unreported_usage.Line,
+        directory.Move,
+        directory.Held,
+        ConnectionsAsk,
+        Applied,
+    }
     assert parts <= set(map(type, samples))
     for kind in {type(sample) for sample in samples}:
         for field in msgspec.structs.fields(kind):
             default = field.default if field.default_factory is msgspec.NODEFAULT else field.default_factory()
-            assert any(getattr(sample, field.name) != default for sample in samples if type(sample) is kind), field.name
+            assert any(
+                getattr(sample, field.name) != default for sample in samples if type(sample) is kind
+            ), field.name
 
 
 def stored_words() -> dict[str, list[Any]]:
     """The words by which snapshots, entries and answers name members of enumerations, reports and parts."""
-    names: dict[str, type[Enum]] = {"roll states": rollout.State, "roll turns": rollout.Turn,
-                                    "gateway stands": rollout.Stand, "gateway steps": rollout.Step, "rules": Rule}
-    values: dict[str, type[Enum]] = {"contract states": contracts.State, "roll states told": rollout.State,
-                                     "gateway stands told": rollout.Stand}
-    return {name: [one.name for one in kind] for name, kind in names.items()} | {
-        name: [one.value for one in kind] for name, kind in values.items()} | {
-        "reports": list(rollout.REPORTS), "fleet parts": list(REGISTRY.own), "other parts": list(REGISTRY.others)}
+    names: dict[str, type[Enum]] = {
+        "roll states": restart.State,
+        "roll turns": restart.Turn,
+        "gateway stands": restart.Stand,
+        "gateway steps": restart.Step,
+        "rules": Rule,
+    }
+    values: dict[str, type[Enum]] = {
+        "contract states": contract.State,
+        "roll states told": restart.State,
+        "gateway stands told": restart.Stand,
+    }
+    return (
+        {name: [one.name for one in kind] for name, kind in names.items()}
+        | {name: [one.value for one in kind] for name, kind in values.items()}
+        | {
+            "reports": list(restart.REPORTS),
+            "fleet parts": list(REGISTRY.own),
+            "other parts": list(REGISTRY.others),
+        }
+    )
 
 
 def test_words_that_are_stored_are_as_ever() -> None:
@@ -156,10 +196,19 @@
 
 def leaders_view() -> View:
     """What the leader of either group looks at, long behind the last entry."""
-    return View(now=NODE_TIME_MS + 1e6, wall=START_MS + 900_000.0, me="a/1", lead_since=NODE_TIME_MS, timings=Timings(),
-                alive=frozenset({"a/1", "b/5", "c/3"}), dead_for={"b/2": 1e6}, load={"capacity": 900.0, "demand": 10.0},
-                halls={"a": "east", "b": "west", "c": "east", "d": "west"},
-                groups={"g0": ("a/1", "b/5", "c/3"), "g1": ("a/1", "b/5", "c/3")}, behind={})
+    return View(
+        now=NODE_TIME_MS + 1e6,
+        wall=START_MS + 900_000.0,
+        me="a/1",
+        lead_since=NODE_TIME_MS,
+        timings=Timings(),
+        alive=frozenset({"a/1", "b/5", "c/3"}),
+        dead_for={"b/2": 1e6},
+        load={"capacity": 900.0, "demand": 10.0},
+        halls={"a": "east", "b": "west", "c": "east", "d": "west"},
+        groups={"g0": ("a/1", "b/5", "c/3"), "g1": ("a/1", "b/5", "c/3")},
+        behind={},
+    )
 
 
 def history_of(group: str) -> dict[str, Any]:
@@ -170,9 +219,14 @@
     answers += apply_entries(state, entries[SNAPSHOT_AT:])
     late = state.dump()
     values = {name: canonical(part.dump()) for name, part in state.parts.items()}
-    return {"entries": [entry.body.hex() for entry in entries], "answers": [canonical(answer) for answer in answers],
-            "early": early.hex(), "late": late.hex(), "values": values,
-            "work": [encode(START_MS, command).hex() for command in state.work(leaders_view())]}
+    return {
+        "entries": [entry.body.hex() for entry in entries],
+        "answers": [canonical(answer) for answer in answers],
+        "early": early.hex(),
+        "late": late.hex(),
+        "values": values,
+        "work": [encode(START_MS, command).hex() for command in state.work(leaders_view())],
+    }
 
 
 @pytest.mark.parametrize("group", HISTORIES)
@@ -189,9 +243,12 @@
     state = new_state(group)
     state.restore(NODE_TIME_MS, bytes.fromhex(stated["early"]))
     assert state.dump().hex() == stated["early"]
-    answers = [state.apply(NODE_TIME_MS, index, bytes.fromhex(body))
-               for index, body in enumerate(stated["entries"], 1) if index > SNAPSHOT_AT]
-    assert [canonical(answer) for answer in answers] == stated["answers"][SNAPSHOT_AT - 1:]
+    answers = [
+        state.apply(NODE_TIME_MS, index, bytes.fromhex(body))
+        for index, body in enumerate(stated["entries"], 1)
+        if index > SNAPSHOT_AT
+    ]
+    assert [canonical(answer) for answer in answers] == stated["answers"][SNAPSHOT_AT - 1 :]
     assert state.dump().hex() == stated["late"]
     assert {name: canonical(part.dump()) for name, part in state.parts.items()} == stated["values"]
 
@@ -232,9 +289,11 @@
     """What a store gives back, and what that comes to."""
     disk = opened(folder)
     disk.close()
-    return {"saved": {name: canonical(saved) for name, saved in sorted(disk.saved.items())},
-            "states": {name: rebuilt(name, disk.saved[name]).dump().hex() for name in ("g0", *HISTORIES)},
-            "rows": {table: [canonical(row) for row in rows_of(folder, table)] for table in TABLES}}
+    return {
+        "saved": {name: canonical(saved) for name, saved in sorted(disk.saved.items())},
+        "states": {name: rebuilt(name, disk.saved[name]).dump().hex() for name in ("g0", *HISTORIES)},
+        "rows": {table: [canonical(row) for row in rows_of(folder, table)] for table in TABLES},
+    }
 
 
 def rows_of(folder: Path, table: str) -> list[tuple[Any, ...]]:
@@ -250,7 +309,9 @@
     """Tables and their columns, as SQLite has them."""
     database = sqlite3.connect(folder / NAME)
     try:
-        return database.execute("SELECT name, sql FROM sqlite_master WHERE sql IS NOT NULL ORDER BY name").fetchall()
+        return database.execute(
+            "SELECT name, sql FROM sqlite_master WHERE sql IS NOT NULL ORDER BY name"
+        ).fetchall()
     finally:
         database.close()
 
@@ -271,7 +332,9 @@
     for group in HISTORIES:
         state = rebuilt(group, disk.saved[group])
         assert state.dump().hex() == golden("cluster/histories.json")[group]["late"]
-        assert disk.saved[group].snapshot is not None and disk.saved[group].entries[0].index == SNAPSHOT_AT + 1
+        assert (
+            disk.saved[group].snapshot is not None and disk.saved[group].entries[0].index == SNAPSHOT_AT + 1
+        )
 
 
 def test_the_same_records_are_written_to_the_same_rows_as_ever(folder: Path, tmp_path: Path) -> None:
@@ -290,8 +353,9 @@
     """In the node's place: the groups of a store without an election, each call a second behind the one before.
     A node that is never driven tells the status."""
 
-    def __init__(self, setup: Setup, saved: dict[str, Saved], draw: Random, now: float, wall: float,
-                 rules: Invariants) -> None:
+    def __init__(
+        self, setup: Setup, saved: dict[str, Saved], draw: Random, now: float, wall: float, rules: Invariants
+    ) -> None:
         self.states = {name: rebuilt(name, saved[name]) for name in (FLEET, "g0", OTHER)}
         self._node = Node(setup, saved, Random(1), NODE_TIME_MS, START_MS, rules)
         self._at_ms = START_MS + 100_000.0
@@ -320,14 +384,19 @@
 
 def service_section(folder: Path) -> Fleet:
     """The operators' file; nobody listens at the others' addresses."""
-    members = [{"name": name, "hall": hall, "address": f"{HOST}:{port}"}
-               for name, hall, port in (("a", "east", free()), ("b", "west", 1), ("c", "east", 2))]
-    return msgspec.convert({"enabled": True, "name": CLUSTER, "folder": str(folder), "members": members}, Fleet)
+    members = [
+        {"name": name, "hall": hall, "address": f"{HOST}:{port}"}
+        for name, hall, port in (("a", "east", free()), ("b", "west", 1), ("c", "east", 2))
+    ]
+    return msgspec.convert(
+        {"enabled": True, "name": CLUSTER, "folder": str(folder), "members": members}, Fleet
+    )
 
 
 def answers_to(calls: list[dict[str, str]], folder: Path) -> list[str]:
     """The lines that a service on that store answers, call by call.  An "entry" is one of the fleet's own group (hex)
     that no operator may call for; its answer is in canonical form."""
+
     async def ask() -> list[str]:
         service = Service(service_section(folder), MEMBER, make=AnsweringNode)
         service.start()
@@ -335,8 +404,12 @@
         try:
             node = service.node
             assert isinstance(node, AnsweringNode), service.failed
-            return [(await service.answer(one["call"].encode())).decode() if "call" in one else
-                    canonical(node.apply(FLEET, bytes.fromhex(one["entry"]))) for one in calls]
+            return [
+                (await service.answer(one["call"].encode())).decode()
+                if "call" in one
+                else canonical(node.apply(FLEET, bytes.fromhex(one["entry"])))
+                for one in calls
+            ]
         finally:
             service.close()
 
@@ -349,7 +422,11 @@
 
 
 def test_every_call_of_operators_is_among_them() -> None:
-    taken = [one["call"] for one in golden("cluster/calls.json") if "call" in one and one["answer"].startswith("+OK")]
+    taken = [
+        one["call"]
+        for one in golden("cluster/calls.json")
+        if "call" in one and one["answer"].startswith("+OK")
+    ]
     read = [read_call(call.encode()) for call in taken]
     assert {type(one) for one in read if isinstance(one, Command)} == set(known().values())
     assert "status" in read
@@ -371,12 +448,16 @@
     async def answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         hello = await next_frame(reader)
         writer.write(frame(messages.Envelope(messages.VERSION, CLUSTER, RECEIVER, SENDER, ())))
-        spoken.set_result({"hello": hello, "messages": await next_frame(reader), "question": await next_frame(reader)})
+        spoken.set_result(
+            {"hello": hello, "messages": await next_frame(reader), "question": await next_frame(reader)}
+        )
         writer.close()
 
     async with await asyncio.start_server(answer, HOST, 0) as server:
         address = HOST, int(server.sockets[0].getsockname()[1])
-        links = Links(CLUSTER, SENDER, {"b": address}, lambda sender, those: None, lambda error: None, Random(1))
+        links = Links(
+            CLUSTER, SENDER, {"b": address}, lambda sender, those: None, lambda error: None, Random(1)
+        )
         for _, message in MESSAGES:
             links.send(RECEIVER, message)
         try:
@@ -388,7 +469,9 @@
 async def answered() -> dict[str, str]:
     """What links that are dialled answer."""
     listening = socket.create_server((HOST, 0))
-    links = Links(CLUSTER, RECEIVER, {"a": (HOST, 1)}, lambda sender, those: None, lambda error: None, Random(1))
+    links = Links(
+        CLUSTER, RECEIVER, {"a": (HOST, 1)}, lambda sender, those: None, lambda error: None, Random(1)
+    )
     links.listen([listening])
     reader, writer = await asyncio.open_connection(HOST, listening.getsockname()[1])
     try:
@@ -404,8 +487,10 @@
 
 def link_frames() -> dict[str, dict[str, str]]:
     """All frames of either side."""
-    return {"dialled": asyncio.run(asyncio.wait_for(dialled(), 20)),
-            "answered": asyncio.run(asyncio.wait_for(answered(), 20))}
+    return {
+        "dialled": asyncio.run(asyncio.wait_for(dialled(), 20)),
+        "answered": asyncio.run(asyncio.wait_for(answered(), 20)),
+    }
 
 
 def test_links_speak_as_ever() -> None:
@@ -415,26 +500,46 @@
 def node_events() -> list[NodeEvent]:
     """What happens to a member that comes back with the golden store: a leader is heard, calls come and go."""
     last = history_entries(OTHER)[-1]
-    put = promises.Promise(id="x1", name="note", value="armed")
+    put = key_value.Promise(id="x1", name="note", value="armed")
     entry = messages.Entry(last.index + 1, 8, messages.COMMAND, encode(START_MS + 70_000.0, put))
     group = group_of(put.key(), FOUNDING.groups)
-    append = messages.Append(group=OTHER, term=8, previous=last.index, previous_term=last.term, entries=(entry,),
-                             commit=last.index, round=1)
-    beat = messages.Append(group=OTHER, term=8, previous=entry.index, previous_term=8, entries=(), commit=entry.index,
-                           round=2)
+    append = messages.Append(
+        group=OTHER,
+        term=8,
+        previous=last.index,
+        previous_term=last.term,
+        entries=(entry,),
+        commit=last.index,
+        round=1,
+    )
+    beat = messages.Append(
+        group=OTHER, term=8, previous=entry.index, previous_term=8, entries=(), commit=entry.index, round=2
+    )
     call = encode(START_MS + 71_000.0, put)
     received: list[messages.AnyMessage] = [
         messages.Forward(token="c.1", group=group, body=call, hops=1),
         messages.Forward(token="c.2", group="g9", body=call, hops=1),
         messages.Forward(token="c.3", group=group, body=b"\xc1", hops=1),
-        messages.Forward(token="c.4", group=group, hops=1,
-                         body=encode(START_MS, promises.Promise(id="x2", name="", value=""))),
+        messages.Forward(
+            token="c.4",
+            group=group,
+            hops=1,
+            body=encode(START_MS, key_value.Promise(id="x2", name="", value="")),
+        ),
         messages.WhoAreYou(sender_hall="east"),
         messages.Ping(seq=3, target="a/1", gossip=(), wall=START_MS),
         messages.Ask(group="g0", term=5, last_index=9, last_term=4, pre=False, lead=True),
-        append]
-    return [*(Received("c/3", message) for message in received), Stored("g0", 1), Stored(OTHER, 1), Stored(OTHER, 2),
-            Received("c/3", beat), Call("a.1", put), Call("a.2", promises.PromiseRead(id="x3", name="note"))]
+        append,
+    ]
+    return [
+        *(Received("c/3", message) for message in received),
+        Stored("g0", 1),
+        Stored(OTHER, 1),
+        Stored(OTHER, 2),
+        Received("c/3", beat),
+        Call("a.1", put),
+        Call("a.2", key_value.PromiseRead(id="x3", name="note")),
+    ]
 
 
 def node_exchange(folder: Path) -> list[list[str]]:
@@ -446,8 +551,10 @@
     told: list[list[str]] = []
     for event in node_events():
         effects = node.handle(NODE_TIME_MS + 1.0, START_MS + 80_000.0, event)
-        told.append([canonical(effect) for effect in effects] + [
-            msgspec.msgpack.encode(effect.message).hex() for effect in effects if isinstance(effect, Send)])
+        told.append(
+            [canonical(effect) for effect in effects]
+            + [msgspec.msgpack.encode(effect.message).hex() for effect in effects if isinstance(effect, Send)]
+        )
     return told
 
 
@@ -459,7 +566,7 @@
     """The log of a group that goes on by hand without its other members."""
     disk = opened(folder)
     disk.close()
-    return canonical(groups.forced(disk.saved[OTHER], OTHER, "a/1", ("b/2", "c/3"), START_MS + 90_000.5))
+    return canonical(directory.forced(disk.saved[OTHER], OTHER, "a/1", ("b/2", "c/3"), START_MS + 90_000.5))
 
 
 def test_a_group_that_goes_on_by_hand_has_the_same_log_as_ever(folder: Path) -> None:
--- a/tests/test_golden_wire.py
+++ b/tests/decisions/test_golden_simulator_wire.py
@@ -11,34 +11,59 @@
 
 import pytest
 
-from martenstep import interface as api
-from martenstep.wirehost import WireError, serve, write_action
-from tests.golden_files import assert_golden, golden, text_lines
-from tests.test_settings import FULL
-from tests.test_wire import up
+from badgeryoke.decisions import interface as api
+from badgeryoke.decisions.simulator_adapter import WireError, serve, write_action
+from tests.decisions.test_settings_parser import FULL
+from tests.decisions.test_simulator_adapter import up
+from tests.support.golden_files import assert_golden, golden, text_lines
 
 INPUT, REPLIES, LINES = "wire-in.txt", "wire-out.txt", "wire-lines.txt"
 SEED, BATCHES, BATCH_MS = 5, 160, 37.5
 DOORS = ("door/0", "door/1")
 CLASSES = {"door/0": ("read",), "door/1": ("tile-read", "tile-draw", "mark-set", "pass-issue")}
 PLANS = {"door/0": ("plain",), "door/1": ("field", "archive", "open-only")}
-VERDICTS = ("Ok",) * 8 + ("Failed", "QueueFull", "TimedOut", "ConnectError", "ResetByPeer", "Canceled", "Ignored")
+VERDICTS = ("Ok",) * 8 + (
+    "Failed",
+    "QueueFull",
+    "TimedOut",
+    "ConnectError",
+    "ResetByPeer",
+    "Canceled",
+    "Ignored",
+)
 # Messages of every kind that come once, by the number of their batch.
 SPECIAL = {
-    20: ["TABLE roster_id=1 entries=1",
-         "BACKEND backend=33 zone=south kind=slim cohort=2 condition=U size=0.5 born_ms=9700.0",
-         "UPDATE door=door/0 scope=incr index=5 roster_id=1", "UPDATE door=door/1 scope=incr index=5 roster_id=1"],
-    40: ["TABLE roster_id=2 entries=2", "BACKEND backend=11 zone=a kind=std cohort=0 condition=L size=1",
-         "BACKEND backend=44 zone=b kind=std cohort=1 condition=U size=1", "UPDATE door=door/1 scope=incr roster_id=2"],
-    60: ["TABLE roster_id=3 entries=2", "BACKEND backend=22 zone=b kind=std cohort=0 condition=U size=1.5",
-         "BACKEND backend=44 zone=b kind=std cohort=1 condition=D", "UPDATE door=door/1 scope=total roster_id=3"],
+    20: [
+        "TABLE roster_id=1 entries=1",
+        "BACKEND backend=33 zone=south kind=slim cohort=2 condition=U size=0.5 born_ms=9700.0",
+        "UPDATE door=door/0 scope=incr index=5 roster_id=1",
+        "UPDATE door=door/1 scope=incr index=5 roster_id=1",
+    ],
+    40: [
+        "TABLE roster_id=2 entries=2",
+        "BACKEND backend=11 zone=a kind=std cohort=0 condition=L size=1",
+        "BACKEND backend=44 zone=b kind=std cohort=1 condition=U size=1",
+        "UPDATE door=door/1 scope=incr roster_id=2",
+    ],
+    60: [
+        "TABLE roster_id=3 entries=2",
+        "BACKEND backend=22 zone=b kind=std cohort=0 condition=U size=1.5",
+        "BACKEND backend=44 zone=b kind=std cohort=1 condition=D",
+        "UPDATE door=door/1 scope=total roster_id=3",
+    ],
     70: ["UPDATE door=door/1 scope=lost", "UPDATE door=door/0 scope=lost"],
-    80: ["PEER_DATA door=door/0 text=of no use here", "PONG door=door/0 backend=11 verdict=Ok rtt_ms=3 server_stats=1,2",
-         "PONG door=door/1 backend=22 verdict=TimedOut", "", "QUERY door=door/9 rid=aa cls=x grade_of_service=y "
-         "caller=1 remaining_ms=1 cost_units=1 spread=1"],
-    100: ["QUERY door=door/0 rid=odd cls=video grade_of_service=plain caller=1 remaining_ms=1 cost_units=1 spread=1",
-          "QUERY door=door/0 rid=odd cls=read grade_of_service=none caller=99 remaining_ms=1 cost_units=1 spread=1",
-          'UP door=door/2 init_seed=1 params={"me": 0}'],
+    80: [
+        "PEER_DATA door=door/0 text=of no use here",
+        "PONG door=door/0 backend=11 verdict=Ok rtt_ms=3 server_stats=1,2",
+        "PONG door=door/1 backend=22 verdict=TimedOut",
+        "",
+        "QUERY door=door/9 rid=aa cls=x grade_of_service=y caller=1 remaining_ms=1 cost_units=1 spread=1",
+    ],
+    100: [
+        "QUERY door=door/0 rid=odd cls=video grade_of_service=plain caller=1 remaining_ms=1 cost_units=1 spread=1",
+        "QUERY door=door/0 rid=odd cls=read grade_of_service=none caller=99 remaining_ms=1 cost_units=1 spread=1",
+        'UP door=door/2 init_seed=1 params={"me": 0}',
+    ],
     BATCHES - 5: ["DETACH door=door/0"],
 }
 
@@ -69,9 +94,11 @@
     customer = draw.randrange(6)
     plans = PLANS[door]
     retry = draw.choice(("", " retry=1"))
-    return (f"QUERY caller={customer} door={door} rid={number:08x}{place:08x} cls={draw.choice(CLASSES[door])} "
-            f"grade_of_service={plans[customer % len(plans)]} remaining_ms={draw.choice((250.0, 900.0, 2500.0))} "
-            f"cost_units={draw.choice((0.5, 1, 2.5))} spread=2 from_no={customer % 2}{retry}")
+    return (
+        f"QUERY caller={customer} door={door} rid={number:08x}{place:08x} cls={draw.choice(CLASSES[door])} "
+        f"grade_of_service={plans[customer % len(plans)]} remaining_ms={draw.choice((250.0, 900.0, 2500.0))} "
+        f"cost_units={draw.choice((0.5, 1, 2.5))} spread=2 from_no={customer % 2}{retry}"
+    )
 
 
 def reaction(draw: random.Random, line: str, attempts: dict[tuple[str, str], int]) -> list[str]:
@@ -81,12 +108,16 @@
     door = fields.get("door", "")
     if name == "POST_AMOUNT":
         verdict = draw.choice(("Ok", "Ok", "Ok", "Ok", "TimedOut", "QueueFull"))
-        return [f"TOTAL door={door} cname={fields['cname']} result_value={draw.uniform(0, 5):.3f} rtt_ms=2.15 "
-                f"verdict={verdict}"]
+        return [
+            f"TOTAL door={door} cname={fields['cname']} result_value={draw.uniform(0, 5):.3f} rtt_ms=2.15 "
+            f"verdict={verdict}"
+        ]
     if name == "SET_ALARM":
         return [f"TICK_DUE door={door} name={fields['name']}"]
     if name == "UNDO_SEND":
-        return [f"COMPLETED door={door} rid={fields['rid']} hop={fields['hop']} backend=11 verdict=Canceled rtt_ms=1"]
+        return [
+            f"COMPLETED door={door} rid={fields['rid']} hop={fields['hop']} backend=11 verdict=Canceled rtt_ms=1"
+        ]
     if name != "HAND_OFF":
         return []
     rid = fields["rid"]
@@ -97,8 +128,11 @@
         return [f"LAPSED door={door} rid={rid}"]
     verdict = draw.choice(VERDICTS)
     begun = [f"STARTED door={door} rid={rid}"] if chance < 0.1 and verdict == "Ok" else []
-    return [*begun, f"COMPLETED door={door} rid={rid} hop={hop} backend={fields['backend']} verdict={verdict} "
-            f"rtt_ms={draw.expovariate(1 / 90):.3f} ended={int(verdict == 'Ok')} final_units=1 server_stats=3,0.5"]
+    return [
+        *begun,
+        f"COMPLETED door={door} rid={rid} hop={hop} backend={fields['backend']} verdict={verdict} "
+        f"rtt_ms={draw.expovariate(1 / 90):.3f} ended={int(verdict == 'Ok')} final_units=1 server_stats=3,0.5",
+    ]
 
 
 def spoken() -> tuple[str, str]:
@@ -129,8 +163,23 @@
 
 def test_the_conversation_has_every_kind_of_line() -> None:
     said = {line.split(" ")[0] for line in golden(INPUT).decode().splitlines() if line}
-    assert said == {"BATCH", "YOUR_TURN", "UP", "DETACH", "TABLE", "BACKEND", "UPDATE", "QUERY", "COMPLETED", "TOTAL",
-                    "TICK_DUE", "LAPSED", "STARTED", "PONG", "PEER_DATA"}
+    assert said == {
+        "BATCH",
+        "YOUR_TURN",
+        "UP",
+        "DETACH",
+        "TABLE",
+        "BACKEND",
+        "UPDATE",
+        "QUERY",
+        "COMPLETED",
+        "TOTAL",
+        "TICK_DUE",
+        "LAPSED",
+        "STARTED",
+        "PONG",
+        "PEER_DATA",
+    }
     replied = {line.split(" ")[0] for line in golden(REPLIES).decode().splitlines()}
     assert replied >= {"HAND_OFF", "BOUNCE", "ABORT", "POST_AMOUNT", "SET_ALARM", "LISTEN", "DIE", "READY"}
 
@@ -138,20 +187,53 @@
 # Single lines -----------------------------------------------------------------------------------------
 
 ACTIONS: tuple[api.Action, ...] = (
-    api.Send("r1", 11, 812.34567), api.Cancel("r1", 2), api.Refuse("r2"), api.Refuse("r2", 20.0, "of a lease"),
-    api.Fail("r3"), api.Count(9_223_372_036_854_775_807, 1.23456789, 2500.0), api.Count(7, 0.0, 1.0), api.Probe(22),
-    api.Wake(9000.5, 3), api.Subscribe(), api.Log("two\nlines  and\tmore"))
-QUERY = ("QUERY door=door/0 rid=aa cls=read grade_of_service=plain caller=5 remaining_ms=900 cost_units=1 spread=2 "
-         "from_no=0 retry=0")
-COMPLETED = "COMPLETED door=door/0 rid=aa hop=0 backend=11 verdict=Ok rtt_ms=1 ended=1 final_units=1 server_stats=1"
+    api.Send("r1", 11, 812.34567),
+    api.Cancel("r1", 2),
+    api.Refuse("r2"),
+    api.Refuse("r2", 20.0, "of a lease"),
+    api.Fail("r3"),
+    api.Count(9_223_372_036_854_775_807, 1.23456789, 2500.0),
+    api.Count(7, 0.0, 1.0),
+    api.Probe(22),
+    api.Wake(9000.5, 3),
+    api.Subscribe(),
+    api.Log("two\nlines  and\tmore"),
+)
+QUERY = (
+    "QUERY door=door/0 rid=aa cls=read grade_of_service=plain caller=5 remaining_ms=900 cost_units=1 spread=2 "
+    "from_no=0 retry=0"
+)
+COMPLETED = (
+    "COMPLETED door=door/0 rid=aa hop=0 backend=11 verdict=Ok rtt_ms=1 ended=1 final_units=1 server_stats=1"
+)
 TOTAL = "TOTAL door=door/0 cname=1 verdict=Ok rtt_ms=1 result_value=1"
 UPDATE = "UPDATE door=door/0 scope=total roster_id=0"
 PONG = "PONG door=door/0 backend=11 verdict=Ok rtt_ms=1 server_stats=1"
-WHOLE = (QUERY, COMPLETED, TOTAL, UPDATE, PONG, "TICK_DUE door=door/0 name=1", "LAPSED door=door/0 rid=aa",
-         "STARTED door=door/0 rid=aa", "DETACH door=door/0", "UP door=door/0 init_seed=1 params={}")
-FAULTY = ("NONSENSE door=door/0", "QUERY rid", "UP door=door/0 init_seed=1 params=[]", "UP door=door/0 params={",
-          "TABLE roster_id=0 entries=1", "TABLE roster_id=0", "TABLE entries=1 roster_id=x",
-          "UPDATE door=door/0 scope=total roster_id=99", "BATCH t_ms=soon", "BATCH", "BATCH t_ms=inf")
+WHOLE = (
+    QUERY,
+    COMPLETED,
+    TOTAL,
+    UPDATE,
+    PONG,
+    "TICK_DUE door=door/0 name=1",
+    "LAPSED door=door/0 rid=aa",
+    "STARTED door=door/0 rid=aa",
+    "DETACH door=door/0",
+    "UP door=door/0 init_seed=1 params={}",
+)
+FAULTY = (
+    "NONSENSE door=door/0",
+    "QUERY rid",
+    "UP door=door/0 init_seed=1 params=[]",
+    "UP door=door/0 params={",
+    "TABLE roster_id=0 entries=1",
+    "TABLE roster_id=0",
+    "TABLE entries=1 roster_id=x",
+    "UPDATE door=door/0 scope=total roster_id=99",
+    "BATCH t_ms=soon",
+    "BATCH",
+    "BATCH t_ms=inf",
+)
 WRONG_VALUE = "?"
 
 
@@ -159,7 +241,7 @@
     """The line without each of its fields, and with each one's value spoilt."""
     name, *fields = line.split(" ")
     for place, field in enumerate(fields):
-        others = fields[:place] + fields[place + 1:]
+        others = fields[:place] + fields[place + 1 :]
         yield " ".join([name, *others])
         yield " ".join([name, *others, f"{field.partition('=')[0]}={WRONG_VALUE}"])
 
--- a/tests/test_golden_diameter.py
+++ b/tests/gateway/diameter/test_golden_diameter.py
@@ -9,17 +9,17 @@
 
 from tornado.iostream import IOStream
 
-from badgeryoke.actor import Turns
-from badgeryoke.diameter import codec, server_link
-from badgeryoke.diameter.codec import Avp, Code, Command, Message
-from badgeryoke.diameter.peer import Identity, Peer
-from badgeryoke.execution import End, Execution, Query
-from tests.canonical import canonical
-from tests.golden_files import assert_golden, hex_lines, text_lines
-from tests.standins import NOW_MS, avp, avps, ccr, cer, connect, event_time, message, one_gateway
-from tests.test_core import FakeLoop
-from tests.test_diameter import CLOSED, FAULTS
-from tests.test_front import play
+from badgeryoke.gateway.actor import Turns
+from badgeryoke.gateway.attempt import End, Execution, Query
+from badgeryoke.gateway.diameter import codec, upstream_connection
+from badgeryoke.gateway.diameter.codec import Avp, Code, Command, Message
+from badgeryoke.gateway.diameter.peer import Identity, Peer
+from tests.gateway.diameter.test_diameter import CLOSED, FAULTS
+from tests.gateway.resp.test_client_connection import play
+from tests.gateway.test_dispatcher import FakeLoop
+from tests.support.canonical import canonical
+from tests.support.golden_files import assert_golden, hex_lines, text_lines
+from tests.support.stand_ins import NOW_MS, avp, avps, ccr, cer, connect, event_time, message, one_gateway
 
 REQUESTS, ANSWERS = "diameter-ccr.txt", "diameter-answers.txt"
 PEER, SETTLED = "diameter-peer.txt", "diameter-settled.txt"
@@ -32,16 +32,31 @@
 
 CCRS: tuple[tuple[str, Query, bool, int | None, bool], ...] = (
     ("check", Query("r1", "read", "plain", 5, 900.0, 1.0, 2), True, 2, False),
-    ("debit", Query("r2", "write", "plain", 2**33 - 1, 900.0, 2.5, 3, key="5c0f6e1a2b3d4c59"), False, 1, False),
+    (
+        "debit",
+        Query("r2", "write", "plain", 2**33 - 1, 900.0, 2.5, 3, key="5c0f6e1a2b3d4c59"),
+        False,
+        1,
+        False,
+    ),
     ("repeat", Query("r2", "write", "plain", 5, 900.0, 2.0, 3, key="5c0f6e1a2b3d4c59"), False, 1, True),
     ("no service", Query("r3", "read", "plain", 0, 900.0, 0.4, 1), True, None, False),
-    ("with a value", Query("r4", "write", "plain", 7, 900.0, 1e6, 1, key="k", body=b"BO\0DY"), False, 3, False))
+    (
+        "with a value",
+        Query("r4", "write", "plain", 7, 900.0, 1e6, 1, key="k", body=b"BO\0DY"),
+        False,
+        3,
+        False,
+    ),
+)
 
 
 def requests() -> list[tuple[str, bytes]]:
     """The CCR of each query."""
-    return [(name, server_link.encode(asked, ME, safe, service, FIRST_ID + place, repeat))
-            for place, (name, asked, safe, service, repeat) in enumerate(CCRS)]
+    return [
+        (name, upstream_connection.encode(asked, ME, safe, service, FIRST_ID + place, repeat))
+        for place, (name, asked, safe, service, repeat) in enumerate(CCRS)
+    ]
 
 
 def test_each_query_becomes_the_golden_request() -> None:
@@ -64,11 +79,17 @@
 
 GRANTED = codec.units_avp(Code.GRANTED_SERVICE_UNIT, 3)
 REPLIES: tuple[tuple[str, list[Avp]], ...] = (
-    ("success", answer_of(2001, GRANTED, codec.value_avp(b"value"))), ("success alone", answer_of(2001)),
-    ("limited success", answer_of(2002, GRANTED)), ("too busy", answer_of(3004)), ("unable to deliver", answer_of(3002)),
-    ("rating failed", answer_of(5031)), ("no result", []), ("result of one byte", [Avp(Code.RESULT_CODE, b"1")]),
+    ("success", answer_of(2001, GRANTED, codec.value_avp(b"value"))),
+    ("success alone", answer_of(2001)),
+    ("limited success", answer_of(2002, GRANTED)),
+    ("too busy", answer_of(3004)),
+    ("unable to deliver", answer_of(3002)),
+    ("rating failed", answer_of(5031)),
+    ("no result", []),
+    ("result of one byte", [Avp(Code.RESULT_CODE, b"1")]),
     ("units of one byte", answer_of(2001, codec.group(Code.GRANTED_SERVICE_UNIT, [Avp(417, b"1")]))),
-    ("value that is cut", answer_of(2001, Avp(Code.SERVICE_PARAMETER_INFO, b"\0\0"))))
+    ("value that is cut", answer_of(2001, Avp(Code.SERVICE_PARAMETER_INFO, b"\0\0"))),
+)
 
 
 def settled() -> list[str]:
@@ -78,7 +99,7 @@
         ends: list[End] = []
         execution = Execution(CCRS[0][1], 0, 1, NOW_MS, NOW_MS + 900.0, lambda _, end: ends.append(end))  # noqa: B023
         execution.written()
-        complaint = server_link.settle(execution, reply)
+        complaint = upstream_connection.settle(execution, reply)
         lines.append(f"{name}: {canonical((ends, complaint))}")
     return lines
 
@@ -138,17 +159,22 @@
     loop, stream = FakeLoop(), Stream()
     peer = Peer(cast(IOStream, stream), ME, Turns(loop), WATCHDOG_S)
     peer._next_id = FIRST_ID
-    written = [("CEA", received(peer, stream, cer())), ("second CER", received(peer, stream, cer(hop=2))),
-               ("DWA", received(peer, stream, message(0x80, 280, 0, 3, 4, BASE)))]
+    written = [
+        ("CEA", received(peer, stream, cer())),
+        ("second CER", received(peer, stream, cer(hop=2))),
+        ("DWA", received(peer, stream, message(0x80, 280, 0, 3, 4, BASE))),
+    ]
     stream.written.clear()
     loop.run(WATCHDOG_S * 1.2)
     written.append(("DWR", b"".join(stream.written)))
     peer.deliver(peer._arrived, message(0, 280, 0, FIRST_ID + 1, FIRST_ID + 1, avp(268, 2001) + BASE))
-    written += [("unknown command", received(peer, stream, message(0x80, 271, 0, 5, 6, BASE))),
-                ("E bit", received(peer, stream, message(0xA0, 280, 0, 7, 8, BASE))),
-                ("AVP cut", received(peer, stream, message(0x80, 280, 0, 9, 9, BASE + AVP_TOO_LONG))),
-                ("application", received(peer, stream, message(0xC0, 272, 5, 9, 9, BASE))),
-                ("DPA", received(peer, stream, message(0x80, 282, 0, 9, 10, BASE + avp(273, 0))))]
+    written += [
+        ("unknown command", received(peer, stream, message(0x80, 271, 0, 5, 6, BASE))),
+        ("E bit", received(peer, stream, message(0xA0, 280, 0, 7, 8, BASE))),
+        ("AVP cut", received(peer, stream, message(0x80, 280, 0, 9, 9, BASE + AVP_TOO_LONG))),
+        ("application", received(peer, stream, message(0xC0, 272, 5, 9, 9, BASE))),
+        ("DPA", received(peer, stream, message(0x80, 282, 0, 9, 10, BASE + avp(273, 0)))),
+    ]
     return written
 
 
@@ -166,9 +192,13 @@
 
 def refused_exchanges() -> list[tuple[str, bytes]]:
     """What a CER gets that does not lead to an open connection."""
-    cases = (("no credit control", cer(app=1)), ("relay", cer(app=0xFFFFFFFF)), ("own host", cer(ME.host)),
-             ("no host", message(0x80, 257, 0, 1, 1, avp(296, "example") + avp(258, 4))),
-             ("other command first", message(0x80, 280, 0, 1, 1, BASE)))
+    cases = (
+        ("no credit control", cer(app=1)),
+        ("relay", cer(app=0xFFFFFFFF)),
+        ("own host", cer(ME.host)),
+        ("no host", message(0x80, 257, 0, 1, 1, avp(296, "example") + avp(258, 4))),
+        ("other command first", message(0x80, 280, 0, 1, 1, BASE)),
+    )
     found = []
     for name, data in cases:
         stream = Stream()
@@ -184,10 +214,14 @@
 # What a client is answered ----------------------------------------------------------------------------
 
 GOOD: tuple[tuple[str, bytes], ...] = (
-    ("debit", ccr(7, hop=70)), ("check", ccr(8, hop=80, action=2)), ("value", ccr(11, extra=avp(440, avp(441, 1)))),
+    ("debit", ccr(7, hop=70)),
+    ("check", ccr(8, hop=80, action=2)),
+    ("value", ccr(11, extra=avp(440, avp(441, 1)))),
     ("proxy", ccr(12, extra=avp(284, avp(280, "p") + avp(33, "state")))),
     ("repeat in the window", ccr(13, flags=0xD0, extra=event_time(NOW_MS))),
-    ("same again", ccr(7, hop=71)), ("same again, marked", ccr(7, hop=72, flags=0xD0, extra=event_time(NOW_MS))))
+    ("same again", ccr(7, hop=71)),
+    ("same again, marked", ccr(7, hop=72, flags=0xD0, extra=event_time(NOW_MS))),
+)
 
 
 async def whole_message(reader: asyncio.StreamReader) -> bytes:
@@ -236,6 +270,14 @@
 
 def test_messages_are_made_as_the_standard_has_them() -> None:
     """The codec against the independent one of the stand-ins."""
-    made = Message(codec.REQUEST, Command.DEVICE_WATCHDOG, 0, 3, 4, codec.encode([
-        codec.text(Code.ORIGIN_HOST, "node.example"), codec.text(Code.ORIGIN_REALM, "yoke.example")]))
+    made = Message(
+        codec.REQUEST,
+        Command.DEVICE_WATCHDOG,
+        0,
+        3,
+        4,
+        codec.encode(
+            [codec.text(Code.ORIGIN_HOST, "node.example"), codec.text(Code.ORIGIN_REALM, "yoke.example")]
+        ),
+    )
     assert made.encode() == message(0x80, 280, 0, 3, 4, BASE)
--- a/tests/test_golden_resp.py
+++ b/tests/gateway/resp/test_golden_resp.py
@@ -6,19 +6,30 @@
 import contextlib
 import json
 
-from badgeryoke import counter
-from badgeryoke.actor import Turns
-from badgeryoke.core import Answer, Failed, Passing, Refused, Served
-from badgeryoke.execution import End, Execution, Query
-from badgeryoke.relay import WINDOW, Relay, Room
-from badgeryoke.resp import client_link, server_link
-from badgeryoke.resp.parser import ErrorReply, Parser, Status, Value
-from martenstep import interface as api
-from tests.canonical import canonical
-from tests.golden_files import assert_golden, escaped_lines, text_lines
-from tests.standins import HOST, NOW_MS, Standin, config, connect, entry, gateway, one_gateway, query, resp
-from tests.test_front import play
-from tests.test_service import until
+from badgeryoke.decisions import interface as api
+from badgeryoke.gateway.actor import Turns
+from badgeryoke.gateway.attempt import End, Execution, Query
+from badgeryoke.gateway.dispatcher import Answer, Failed, Passing, Refused, Served
+from badgeryoke.gateway.quota_counter import client
+from badgeryoke.gateway.resp import client_connection, upstream_connection
+from badgeryoke.gateway.resp.codec import ErrorReply, Parser, Status, Value
+from badgeryoke.gateway.response_stream import WINDOW, Relay, Room
+from tests.gateway.resp.test_client_connection import play
+from tests.gateway.test_service import until
+from tests.support.canonical import canonical
+from tests.support.golden_files import assert_golden, escaped_lines, text_lines
+from tests.support.stand_ins import (
+    HOST,
+    NOW_MS,
+    Standin,
+    config,
+    connect,
+    entry,
+    gateway,
+    one_gateway,
+    query,
+    resp,
+)
 
 CLIENTS, ANSWERS, ATTEMPTS = "resp-client.txt", "resp-answers.txt", "resp-attempts.txt"
 CALLS, DISCOVERY, SETTLED = "counter-calls.txt", "discovery-requests.txt", "resp-settled.txt"
@@ -26,10 +37,16 @@
 # What clients are answered ----------------------------------------------------------------------------
 
 FINAL: tuple[tuple[str, Answer], ...] = (
-    ("served", Served(b"value", 2.0)), ("served, empty", Served(b"")), ("served, line ends", Served(b"a\r\nb\0")),
-    ("refused", Refused(20.4)), ("refused, at once", Refused(0.0)), ("refused, may have run", Refused(1e6, True)),
-    ("failed", Failed("may have run")), ("failed, line end in the detail", Failed("a\r\nb")),
-    ("a long value's head", Passing(Relay(100_000, Room(WINDOW)))))
+    ("served", Served(b"value", 2.0)),
+    ("served, empty", Served(b"")),
+    ("served, line ends", Served(b"a\r\nb\0")),
+    ("refused", Refused(20.4)),
+    ("refused, at once", Refused(0.0)),
+    ("refused, may have run", Refused(1e6, True)),
+    ("failed", Failed("may have run")),
+    ("failed, line end in the detail", Failed("a\r\nb")),
+    ("a long value's head", Passing(Relay(100_000, Room(WINDOW)))),
+)
 GOOD_LIST = "c=balance-check,t=dealer,d=60000,units=1,spread=2,first=0"
 CUSTOMER = f"{5:016x}"
 
@@ -40,29 +57,67 @@
 
 
 COMMANDS: tuple[tuple[str, bytes], ...] = (
-    ("query", query()), ("small letters", resp("svc.query", CUSTOMER, "r1", GOOD_LIST)),
-    ("submit", query("r1", "load-send", key="5c0f6e1a2b3d4c59")), ("with a body", query(body="BODY")),
-    ("PING", resp("PING")), ("CLIENT", resp("CLIENT", "SETNAME", "x")), ("SELECT", resp("SELECT", "0")),
-    ("unknown command", resp("GET", "x")), ("empty array", b"*0\r\n"), ("no array", b"$4\r\nPING\r\n"),
-    ("number for a name", b"*1\r\n:5\r\n"), ("too few words", resp("SVC.QUERY", CUSTOMER)),
+    ("query", query()),
+    ("small letters", resp("svc.query", CUSTOMER, "r1", GOOD_LIST)),
+    ("submit", query("r1", "load-send", key="5c0f6e1a2b3d4c59")),
+    ("with a body", query(body="BODY")),
+    ("PING", resp("PING")),
+    ("CLIENT", resp("CLIENT", "SETNAME", "x")),
+    ("SELECT", resp("SELECT", "0")),
+    ("unknown command", resp("GET", "x")),
+    ("empty array", b"*0\r\n"),
+    ("no array", b"$4\r\nPING\r\n"),
+    ("number for a name", b"*1\r\n:5\r\n"),
+    ("too few words", resp("SVC.QUERY", CUSTOMER)),
     ("customer too short", resp("SVC.QUERY", "5", "r1", GOOD_LIST)),
     ("customer out of range", resp("SVC.QUERY", "f" * 16, "r1", GOOD_LIST)),
     ("id with a blank", resp("SVC.QUERY", CUSTOMER, "r 1", GOOD_LIST)),
     ("list too long", resp("SVC.QUERY", CUSTOMER, "r1", "x" * 2000)),
     ("list without pairs", resp("SVC.QUERY", CUSTOMER, "r1", "x")),
-    *((f"no {key}", listed(part, "")) for key, part in (
-        ("c", "c=balance-check,"), ("t", "t=dealer,"), ("d", "d=60000,"), ("units", "units=1,"),
-        ("spread", "spread=2,"), ("first", ",first=0"))),
-    *((f"spoilt: {new}", listed(old, new)) for old, new in (
-        ("d=60000", "d=x"), ("d=60000", "d=-1"), ("d=60000", "d=99999999"), ("units=1", "units=x"),
-        ("units=1", "units=1e9"), ("units=1", "units=7"), ("spread=2", "spread=0.5"), ("spread=2", "spread=0"),
-        ("spread=2", "spread=3"), ("first=0", "first=x"), ("c=balance-check", "c=video"), ("t=dealer", "t=none"),
-        ("c=balance-check", "c=load-send"), ("d=60000", "d=60000,r=2"), ("d=60000", "d=60000,k=a b"),
-        ("d=60000", "d=60000,d=1"))),
-    ("keyed without a key", resp("SVC.SUBMIT", CUSTOMER, "r1", GOOD_LIST.replace("balance-check", "load-send"))),
-    ("no RESP2", b"GET / HTTP/1.1\r\n\r\n"), ("array too long", b"*99\r\n"), ("negative length", b"*1\r\n$-5\r\n"),
-    ("length too long", b"*1\r\n$99999999\r\n"), ("array in an array", b"*1\r\n*1\r\n*1\r\n$1\r\na\r\n"),
-    ("length no number", b"*1\r\n$x\r\n"), ("line too long", b"*1\r\n$" + b"1" * 2000))
+    *(
+        (f"no {key}", listed(part, ""))
+        for key, part in (
+            ("c", "c=balance-check,"),
+            ("t", "t=dealer,"),
+            ("d", "d=60000,"),
+            ("units", "units=1,"),
+            ("spread", "spread=2,"),
+            ("first", ",first=0"),
+        )
+    ),
+    *(
+        (f"spoilt: {new}", listed(old, new))
+        for old, new in (
+            ("d=60000", "d=x"),
+            ("d=60000", "d=-1"),
+            ("d=60000", "d=99999999"),
+            ("units=1", "units=x"),
+            ("units=1", "units=1e9"),
+            ("units=1", "units=7"),
+            ("spread=2", "spread=0.5"),
+            ("spread=2", "spread=0"),
+            ("spread=2", "spread=3"),
+            ("first=0", "first=x"),
+            ("c=balance-check", "c=video"),
+            ("t=dealer", "t=none"),
+            ("c=balance-check", "c=load-send"),
+            ("d=60000", "d=60000,r=2"),
+            ("d=60000", "d=60000,k=a b"),
+            ("d=60000", "d=60000,d=1"),
+        )
+    ),
+    (
+        "keyed without a key",
+        resp("SVC.SUBMIT", CUSTOMER, "r1", GOOD_LIST.replace("balance-check", "load-send")),
+    ),
+    ("no RESP2", b"GET / HTTP/1.1\r\n\r\n"),
+    ("array too long", b"*99\r\n"),
+    ("negative length", b"*1\r\n$-5\r\n"),
+    ("length too long", b"*1\r\n$99999999\r\n"),
+    ("array in an array", b"*1\r\n*1\r\n*1\r\n$1\r\na\r\n"),
+    ("length no number", b"*1\r\n$x\r\n"),
+    ("line too long", b"*1\r\n$" + b"1" * 2000),
+)
 
 
 async def whole_answer(reader: asyncio.StreamReader) -> bytes:
@@ -119,7 +174,7 @@
 
 
 def test_each_final_answer_has_its_golden_bytes() -> None:
-    assert_golden(ANSWERS, escaped_lines((name, client_link.encode(answer)) for name, answer in FINAL))
+    assert_golden(ANSWERS, escaped_lines((name, client_connection.encode(answer)) for name, answer in FINAL))
 
 
 def test_each_command_gets_its_golden_bytes() -> None:
@@ -133,16 +188,28 @@
     ("keyed", Query("r2", "write", "plain", 2**33 - 1, 900.0, 2.5, 3, 1, key="5c0f6e1a2b3d4c59"), False, 0.3),
     ("retry", Query("r3", "write", "plain", 0, 900.0, 1 / 3, 1, 1, True, "k"), False, 1e6),
     ("body", Query("r4", "read", "plain", 255, 900.0, 1e6, 1, body=b"BO\r\nDY\0"), True, 1.0),
-    ("empty body", Query("r5", "read", "plain", 255, 900.0, 0.0, 1, body=b""), True, -5.0))
+    ("empty body", Query("r5", "read", "plain", 255, 900.0, 0.0, 1, body=b""), True, -5.0),
+)
 REPLIES: tuple[tuple[str, Value], ...] = (
-    ("whole", [b"value", b"used=1,cost=2.5", b"inflight=1,latency_ms=9"]), ("value alone", [b"value"]),
-    ("no load", [b"value", b"cost=1"]), ("no cost", [b"value", b"used=1", None]), ("unreadable use", [b"value", b"x"]),
+    ("whole", [b"value", b"used=1,cost=2.5", b"inflight=1,latency_ms=9"]),
+    ("value alone", [b"value"]),
+    ("no load", [b"value", b"cost=1"]),
+    ("no cost", [b"value", b"used=1", None]),
+    ("unreadable use", [b"value", b"x"]),
     ("unreadable load", [b"value", None, b"inflight=x,latency_ms=9"]),
     ("load lacks a field", [b"value", None, b"inflight=1"]),
-    ("numbers", [b"value", 5, 6]), ("no value", [None]), ("four", [b"a", b"b", b"c", b"d"]), ("empty", []),
-    ("a string", b"value"), ("a status", [Status(b"OK")]), ("busy", ErrorReply(b"BUSY 20")),
-    ("busy alone", ErrorReply(b"BUSY")), ("failed", ErrorReply(b"ERR failed used=3")),
-    ("other error", ErrorReply(b"ERR unknown")), ("BUSYX", ErrorReply(b"BUSYX")))
+    ("numbers", [b"value", 5, 6]),
+    ("no value", [None]),
+    ("four", [b"a", b"b", b"c", b"d"]),
+    ("empty", []),
+    ("a string", b"value"),
+    ("a status", [Status(b"OK")]),
+    ("busy", ErrorReply(b"BUSY 20")),
+    ("busy alone", ErrorReply(b"BUSY")),
+    ("failed", ErrorReply(b"ERR failed used=3")),
+    ("other error", ErrorReply(b"ERR unknown")),
+    ("BUSYX", ErrorReply(b"BUSYX")),
+)
 
 
 class Recorder(Standin):
@@ -169,11 +236,25 @@
 
     async def record() -> None:
         async with Recorder() as node:
-            link = server_link.RespServerLink((HOST, node.port), Turns(asyncio.get_running_loop()), lambda: NOW_MS,
-                                              report_names=(), connect_ms=5000.0, idle_ms=30_000.0, most=4)
+            link = upstream_connection.RespServerLink(
+                (HOST, node.port),
+                Turns(asyncio.get_running_loop()),
+                lambda: NOW_MS,
+                report_names=(),
+                connect_ms=5000.0,
+                idle_ms=30_000.0,
+                most=4,
+            )
             out = asyncio.Event()
-            execution = Execution(QUERIES[1][1], 0, 1, NOW_MS, NOW_MS + 900.0, lambda _, end: ends.append(end),
-                                  on_written=out.set)
+            execution = Execution(
+                QUERIES[1][1],
+                0,
+                1,
+                NOW_MS,
+                NOW_MS + 900.0,
+                lambda _, end: ends.append(end),
+                on_written=out.set,
+            )
             execution.query.safe = False
             link.start(execution)
             await out.wait()
@@ -192,13 +273,13 @@
         ends: list[End] = []
         execution = Execution(QUERIES[0][1], 0, 1, NOW_MS, NOW_MS + 900.0, lambda _, end: ends.append(end))  # noqa: B023
         execution.written()
-        left = server_link.settle(execution, reply, ("latency_ms", "inflight"), 6.0)
+        left = upstream_connection.settle(execution, reply, ("latency_ms", "inflight"), 6.0)
         lines.append(f"{name}: {canonical((ends, left))}")
     return lines
 
 
 def test_each_attempt_is_written_in_its_golden_bytes() -> None:
-    attempts = [(name, server_link.encode(asked, safe, left)) for name, asked, safe, left in QUERIES]
+    attempts = [(name, upstream_connection.encode(asked, safe, left)) for name, asked, safe, left in QUERIES]
     assert_golden(ATTEMPTS, escaped_lines([*attempts, *cancelled_attempt()]))
 
 
@@ -208,14 +289,20 @@
 
 # The counter and discovery ----------------------------------------------------------------------------
 
-COUNTER_CALLS = ((1, 1.0, 2500.0), (2**63 - 1, 0.1234567, 0.2), (0, 0.0, 1e9), (7, -1.5, 999.5), (7, 1e6, 60_000.0))
+COUNTER_CALLS = (
+    (1, 1.0, 2500.0),
+    (2**63 - 1, 0.1234567, 0.2),
+    (0, 0.0, 1e9),
+    (7, -1.5, 999.5),
+    (7, 1e6, 60_000.0),
+)
 TOTALS = (b"5", b"5.25", b"-1", b"+.5e3", b"1e999", b"", b"x", b"1_0", b"nan", b" 5", b"1" * 65)
 
 
 def counter_lines() -> bytes:
     """Calls as they are written, and totals as they are read."""
-    calls = [(f"{call}", counter.encode(*call)) for call in COUNTER_CALLS]
-    return escaped_lines(calls) + text_lines(f"{total!r}: {counter.read_total(total)}" for total in TOTALS)
+    calls = [(f"{call}", client.encode(*call)) for call in COUNTER_CALLS]
+    return escaped_lines(calls) + text_lines(f"{total!r}: {client.read_total(total)}" for total in TOTALS)
 
 
 class DiscoveryRecorder(Standin):
@@ -262,5 +349,5 @@
 def test_what_is_written_for_a_server_is_read_back_whole() -> None:
     """The golden bytes are sound RESP2: the parser of the other side finds one command in each."""
     for _, asked, safe, left in QUERIES:
-        [command] = Parser().feed(server_link.encode(asked, safe, left))
+        [command] = Parser().feed(upstream_connection.encode(asked, safe, left))
         assert isinstance(command, list) and command[2] == asked.id.encode()
--- a/tests/test_golden_operations.py
+++ b/tests/gateway/test_golden_admin.py
@@ -4,15 +4,26 @@
 
 from dataclasses import replace
 
-from badgeryoke.drain import State
-from badgeryoke.figures import COMPLETED, FAILED, REJECTED, Figures
-from badgeryoke.gateway import App
-from badgeryoke.management import front
-from badgeryoke.management.render import Gauges, render
-from tests.golden_files import assert_golden, golden, text_lines
-from tests.standins import HOST, Backend, Discovery, config, connect, entry, gateway, query, resp, roster
-from tests.test_front import ask, play
-from tests.test_service import until
+from badgeryoke.gateway.admin import server
+from badgeryoke.gateway.admin.rendering import Gauges, render
+from badgeryoke.gateway.application import App
+from badgeryoke.gateway.graceful_shutdown import State
+from badgeryoke.gateway.metrics import COMPLETED, FAILED, REJECTED, Figures
+from tests.gateway.resp.test_client_connection import ask, play
+from tests.gateway.test_service import until
+from tests.support.golden_files import assert_golden, golden, text_lines
+from tests.support.stand_ins import (
+    HOST,
+    Backend,
+    Discovery,
+    config,
+    connect,
+    entry,
+    gateway,
+    query,
+    resp,
+    roster,
+)
 
 METRICS, CALLS, ANSWERS = "metrics.txt", "management-calls.txt", "management-answers.txt"
 
@@ -64,14 +75,26 @@
         return b"+OK " + call + b"\n"
 
 
-LINES = (b"STATUS\n", b"  STATUS \r\n", b"METRICS\n", b"PAUSE\n", b"RESUME\n", b"\n", b"status\n", b"NONSENSE\n",
-         b"FLEET\n")
+LINES = (
+    b"STATUS\n",
+    b"  STATUS \r\n",
+    b"METRICS\n",
+    b"PAUSE\n",
+    b"RESUME\n",
+    b"\n",
+    b"status\n",
+    b"NONSENSE\n",
+    b"FLEET\n",
+)
 
 
 def answers() -> list[str]:
     """What each line gets from a gateway that can, and from one that cannot."""
-    return [f"{kind} {line!r}: {front.answer(operated, line)!r}"
-            for kind, operated in (("good", Operated(True, "")), ("bad", Operated(False, "why not"))) for line in LINES]
+    return [
+        f"{kind} {line!r}: {server.answer(operated, line)!r}"
+        for kind, operated in (("good", Operated(True, "")), ("bad", Operated(False, "why not")))
+        for line in LINES
+    ]
 
 
 def states() -> list[str]:
@@ -103,6 +126,7 @@
         async with Backend() as node, Discovery(entry("a", node.port)) as list_:
             made = config(list_.port, None, roster(entry("a", node.port)))
             async with gateway(replace(made, mgmt=(HOST, 0))) as app:
+
                 async def call(line: bytes) -> None:
                     lines.append(f"{line[:40]!r}: {await called(app, line)!r}")
 
@@ -117,9 +141,17 @@
                 await call(b"STATUS\n")
                 lines.append(f"client, paused: {await ask(app, resp('PING'))!r}")
                 await call(b"RESUME\n")
-                for line in (b"STATUS\n", b"FLEET\n", b"FLEET STATUS\n", b"FLEET {\"call\":\"members\"}\n", b"\n",
-                             b"NONSENSE\n", b"x" * 300 + b"\n", b"FLEET " + b"x" * 300 + b"\n",
-                             b"FLEET " + b"x" * front.MOST_FLEET_LINE + b"\n"):
+                for line in (
+                    b"STATUS\n",
+                    b"FLEET\n",
+                    b"FLEET STATUS\n",
+                    b'FLEET {"call":"members"}\n',
+                    b"\n",
+                    b"NONSENSE\n",
+                    b"x" * 300 + b"\n",
+                    b"FLEET " + b"x" * 300 + b"\n",
+                    b"FLEET " + b"x" * server.MOST_FLEET_LINE + b"\n",
+                ):
                     await call(line)
                 lines.append(f"client, resumed: {await ask(app, resp('PING'))!r}")
 
--- a/tests/test_golden_cli.py
+++ b/tests/gateway/test_golden_cli.py
@@ -12,14 +12,19 @@
 from click.testing import CliRunner
 
 from badgeryoke.cli import main
-from tests.golden_files import assert_golden
-from tests.test_settings import FULL
+from tests.decisions.test_settings_parser import FULL
+from tests.support.golden_files import assert_golden
 
 WIDTH = "100"
 PRODUCT, SHOWN_PRODUCT = "badgeryoke", "PRODUCT"  # the program's own name is not part of the golden texts
 CHECK, LABORATORY, FOLDER = "cli-check.txt", "cli-lab.txt", "cli-folder.txt"
-PLATFORM: dict[str, Any] = {"name": "g0", "listen": "127.0.0.1:6379", "discovery": "127.0.0.1:1",
-                            "counter": "127.0.0.1:2", "settings": FULL}
+PLATFORM: dict[str, Any] = {
+    "name": "g0",
+    "listen": "127.0.0.1:6379",
+    "discovery": "127.0.0.1:1",
+    "counter": "127.0.0.1:2",
+    "settings": FULL,
+}
 OPERATORS_FILES = {
     "good.toml": "[counter_watch]\nenabled = true\n[log]\nformat = 'json'\nlevel = 'debug'\n",
     "empty.toml": "",
@@ -70,21 +75,31 @@
     Path("golden.scm").write_text(SCENARIO)
     Path("faulty.scm").write_text("(scenario x\n  (gateways three))")
     sim = ("lab", "sim", "golden.scm", "--jobs", "1")
-    return "".join([
-        called("lab", "list"), called("lab", "list", "--json"),
-        called(*sim, "--json"), called(*sim), called(*sim, "--seeds", "2", "--gateways", "5", "--no-watch", "--json"),
-        called("lab", "sim", "fleet-lose-three", "--jobs", "1", "--json"),
-        called("lab", "sim", "no-such"), called("lab", "sim", "faulty.scm"),
-        called("lab", "run", "faulty.scm")]).encode()
+    return "".join(
+        [
+            called("lab", "list"),
+            called("lab", "list", "--json"),
+            called(*sim, "--json"),
+            called(*sim),
+            called(*sim, "--seeds", "2", "--gateways", "5", "--no-watch", "--json"),
+            called("lab", "sim", "fleet-lose-three", "--jobs", "1", "--json"),
+            called("lab", "sim", "no-such"),
+            called("lab", "sim", "faulty.scm"),
+            called("lab", "run", "faulty.scm"),
+        ]
+    ).encode()
 
 
 def result_folder() -> bytes:
     """The files of a run, the comparison of two, and the page written anew; the checkout's commit left out."""
     Path("golden.scm").write_text(SCENARIO)
-    said = [called("lab", "sim", "golden.scm", "--jobs", "1", "--to", "one", "--json"),
-            called("lab", "sim", "golden.scm", "--jobs", "1", "--to", "two", "--no-watch", "--json"),
-            called("lab", "compare", "one", "two"), called("lab", "compare", "one", "two", "--json"),
-            called("lab", "report", "one")]
+    said = [
+        called("lab", "sim", "golden.scm", "--jobs", "1", "--to", "one", "--json"),
+        called("lab", "sim", "golden.scm", "--jobs", "1", "--to", "two", "--no-watch", "--json"),
+        called("lab", "compare", "one", "two"),
+        called("lab", "compare", "one", "two", "--json"),
+        called("lab", "report", "one"),
+    ]
     files = [f"--- {path.name}\n{path.read_text()}" for path in sorted(Path("one").iterdir())]
     return without_commit("".join(said + files)).encode()
 
@@ -108,7 +123,15 @@
     assert_golden(FOLDER, result_folder())
 
 
-@pytest.mark.parametrize("words", [("no-such",), ("check", "--no-such"), ("lab", "sim"), ("lab", "compare", "a", "b"),
-                                   ("lab", "sim", "demo", "--seeds", "0")])
+@pytest.mark.parametrize(
+    "words",
+    [
+        ("no-such",),
+        ("check", "--no-such"),
+        ("lab", "sim"),
+        ("lab", "compare", "a", "b"),
+        ("lab", "sim", "demo", "--seeds", "0"),
+    ],
+)
 def test_a_call_that_is_none_ends_with_2(words: tuple[str, ...]) -> None:
     assert CliRunner().invoke(main.cli, list(words)).exit_code == main.UNUSABLE == 2
--- a/tests/test_golden_handover.py
+++ b/tests/gateway/test_golden_hot_restart.py
@@ -7,27 +7,32 @@
 
 import pytest
 
-from badgeryoke.handover import link
-from martenstep import handover
-from martenstep import interface as api
-from martenstep.decide import Gateway
-from tests import gateway_drive, helpers
-from tests.golden_files import assert_golden, golden, text_lines
-from tests.test_front import play
+from badgeryoke.decisions import interface as api
+from badgeryoke.decisions import state_snapshot
+from badgeryoke.decisions.policy.engine import Gateway
+from badgeryoke.gateway.hot_restart import transfer
+from tests.gateway.resp.test_client_connection import play
+from tests.support import policy_drive, samples
+from tests.support.golden_files import assert_golden, golden, text_lines
 
 FIRST_SEED, SECOND_SEED = 15, 16
 EVENTS, EVENTS_AFTER = 1949, 400
 NAMES = {number: f"server-{number}" for number in range(1, 6)}
 NUMBERS = {name: number + 20 for number, name in NAMES.items()}  # the successor numbers them otherwise
-STATE, SECOND_STATE, ACTIONS, LINES = "state.bin", "state-second.bin", "actions-after.txt", "handover-lines.txt"
+STATE, SECOND_STATE, ACTIONS, LINES = (
+    "state.bin",
+    "state-second.bin",
+    "actions-after.txt",
+    "handover-lines.txt",
+)
 
 
-def driven() -> gateway_drive.Drive:
+def driven() -> policy_drive.Drive:
     """A module whose ledgers, servers, quota and choice among servers have all been in use."""
-    gateway = Gateway(gateway_drive.SETTINGS, FIRST_SEED)
-    gateway.handle(helpers.START, api.Members(api.Scope.WARM_COPY, gateway_drive.SERVERS))
-    drive = gateway_drive.Drive(gateway, FIRST_SEED, helpers.START)
-    drive.schedule(gateway_drive.FRESH_AT, api.Members(api.Scope.CHANGES, (gateway_drive.FRESH,)))
+    gateway = Gateway(policy_drive.SETTINGS, FIRST_SEED)
+    gateway.handle(samples.START, api.Members(api.Scope.WARM_COPY, policy_drive.SERVERS))
+    drive = policy_drive.Drive(gateway, FIRST_SEED, samples.START)
+    drive.schedule(policy_drive.FRESH_AT, api.Members(api.Scope.CHANGES, (policy_drive.FRESH,)))
     drive.play(EVENTS)
     forgetful = gateway._quota._ledgers[8]
     forgetful.epoch, forgetful.last_epoch = 3, 2  # as after a counter that had forgotten
@@ -36,25 +41,26 @@
 
 def encoded(gateway: Gateway, names: dict[int, str]) -> bytes:
     """The state of a module as it goes to the successor."""
-    return handover.encode(handover.give(gateway, names))
+    return state_snapshot.encode(state_snapshot.give(gateway, names))
 
 
-def decoded(state: bytes) -> handover.Handed:
+def decoded(state: bytes) -> state_snapshot.Handed:
     """The state as the successor reads it."""
     head, body = state.split(b"\n", 1)
-    checksum, length = handover.read_head(head)
+    checksum, length = state_snapshot.read_head(head)
     assert length == len(body)
-    return handover.decode(body, checksum)
+    return state_snapshot.decode(body, checksum)
 
 
-def successor(state: bytes, now: float) -> gateway_drive.Drive:
+def successor(state: bytes, now: float) -> policy_drive.Drive:
     """A fresh module that goes on from a state, with its first actions under way."""
-    gateway = Gateway(gateway_drive.SETTINGS, SECOND_SEED)
-    numbered = tuple(helpers.server(NUMBERS[name], "a" if number in (1, 2, 5) else "b")
-                     for number, name in NAMES.items())
+    gateway = Gateway(policy_drive.SETTINGS, SECOND_SEED)
+    numbered = tuple(
+        samples.server(NUMBERS[name], "a" if number in (1, 2, 5) else "b") for number, name in NAMES.items()
+    )
     gateway.handle(now, api.Members(api.Scope.WARM_COPY, numbered))
-    actions = handover.take(gateway, now, decoded(state), NUMBERS)
-    drive = gateway_drive.Drive(gateway, SECOND_SEED, now)
+    actions = state_snapshot.take(gateway, now, decoded(state), NUMBERS)
+    drive = policy_drive.Drive(gateway, SECOND_SEED, now)
     drive.answer(actions)
     return drive
 
@@ -77,18 +83,22 @@
     """A column in which all entries were alike would not show that it stands at another place."""
     state = decoded(golden(STATE))
     idle = (0, None)
-    for columns in (zip(*(ledger.figures for ledger in state.ledgers), strict=True),
-                    zip(*(peer.figures for peer in state.peers), strict=True)):
+    for columns in (
+        zip(*(ledger.figures for ledger in state.ledgers), strict=True),
+        zip(*(peer.figures for peer in state.peers), strict=True),
+    ):
         assert all(any(value not in idle for value in column) for column in columns)
     assert all(value not in idle for value in [*state.quota, *state.fleet, state.retries])
     assert len({*state.quota, *state.fleet}) == len([*state.quota, *state.fleet])
-    assert len(state.ledgers) == len(gateway_drive.CUSTOMERS) and len(state.peers) == len(NAMES)
-    for amounts in zip(*((ledger.owed, ledger.settled, ledger.maybe) for ledger in state.ledgers), strict=True):
+    assert len(state.ledgers) == len(policy_drive.CUSTOMERS) and len(state.peers) == len(NAMES)
+    for amounts in zip(
+        *((ledger.owed, ledger.settled, ledger.maybe) for ledger in state.ledgers), strict=True
+    ):
         assert any(amounts)
 
 
 def test_a_state_that_was_read_is_written_as_it_was() -> None:
-    assert handover.encode(decoded(golden(STATE))) == golden(STATE)
+    assert state_snapshot.encode(decoded(golden(STATE))) == golden(STATE)
 
 
 def test_a_successor_hands_on_the_golden_second_state() -> None:
@@ -112,17 +122,17 @@
         self._why_not = why_not
         self.told = asyncio.Event()
 
-    def give(self) -> handover.Handed | str:
+    def give(self) -> state_snapshot.Handed | str:
         return self._why_not or decoded(golden(STATE))
 
-    def succeeded(self, handed: handover.Handed) -> None:
+    def succeeded(self, handed: state_snapshot.Handed) -> None:
         self.told.set()
 
 
 async def refused_by_giver(folder: Path, predecessor: Predecessor, line: bytes) -> bytes:
     """What the old process answers to a line that it does not go by."""
     path = folder / "refusing.sock"
-    giver = link.Giver(path, predecessor)
+    giver = transfer.Giver(path, predecessor)
     await giver.listen()
     reader, writer = await asyncio.open_unix_connection(str(path))
     writer.write(line)
@@ -136,7 +146,7 @@
     """What the old process writes to a successor that asks, and to a second one meanwhile."""
     path = folder / "giving.sock"
     predecessor = Predecessor()
-    giver = link.Giver(path, predecessor)
+    giver = transfer.Giver(path, predecessor)
     await giver.listen()
     reader, writer = await asyncio.open_unix_connection(str(path))
     writer.write(b"TAKE 2\n")
@@ -167,9 +177,9 @@
 
     server = await asyncio.start_unix_server(give, str(path))
     ended = asyncio.Event()
-    taker = link.Taker(path)
+    taker = transfer.Taker(path)
     handed = await taker.ask()
-    assert handed is not None and handover.encode(handed) == golden(STATE)
+    assert handed is not None and state_snapshot.encode(handed) == golden(STATE)
     await taker.serving(ended.set)
     await ended.wait()
     server.close()
@@ -178,7 +188,7 @@
 
 def exchanged(folder: Path) -> list[str]:
     """Each line that goes over the connection, by who writes it."""
-    lines: list[str] = [f"address: {link.address('folder', '../n 0').as_posix()}"]
+    lines: list[str] = [f"address: {transfer.address('folder', '../n 0').as_posix()}"]
 
     async def record() -> None:
         lines.extend(f"taker: {line!r}" for line in await said_by_taker(folder))
@@ -201,11 +211,11 @@
     told = []
     for head in HEADS:
         with pytest.raises(ValueError) as caught:
-            handover.read_head(head)
+            state_snapshot.read_head(head)
         told.append(f"head {head!r}: {caught.value}")
     for body, checksum in BODIES:
         with pytest.raises(ValueError) as caught:
-            handover.decode(body, checksum)
+            state_snapshot.decode(body, checksum)
         told.append(f"body {body!r}: {caught.value}")
     return told
 
--- a/tests/test_golden_settings.py
+++ b/tests/gateway/test_golden_settings.py
@@ -8,27 +8,49 @@
 from pathlib import Path
 from typing import Any
 
-from badgeryoke.config import ConfigError, read_config, read_diameter
-from badgeryoke.host_group import read_roster
-from badgeryoke.operators import OperatorsError, read_operators
-from martenstep import interface as api
-from martenstep.settings import settings_from, unknown
-from tests.golden_files import assert_golden, text_lines
-from tests.standins import entry
-from tests.test_reload import at
-from tests.test_settings import FULL, USED, placed
+from badgeryoke.decisions import interface as api
+from badgeryoke.decisions.settings_parser import settings_from, unknown
+from badgeryoke.gateway.config.operators_file import OperatorsError, read_operators
+from badgeryoke.gateway.config.platform_file import ConfigError, read_config, read_diameter
+from badgeryoke.gateway.discovery.client import read_roster
+from tests.decisions.test_settings_parser import FULL, USED, placed
+from tests.gateway.test_reload import at
+from tests.support.golden_files import assert_golden, text_lines
+from tests.support.stand_ins import entry
 
 SETTINGS, CONFIG = "faults-settings.txt", "faults-config.txt"
 OPERATORS, ROSTER = "faults-operators.txt", "faults-roster.txt"
 GOOD = "good"
 VALUES: tuple[Any, ...] = ("5", 5, -1, 0, 0.5, 1e308, True, False, "", "x" * 300, [], [1], {}, "no such word")
 PLATFORM: dict[str, Any] = {
-    "name": "g0", "listen": "127.0.0.1:6379", "discovery": "127.0.0.1:1", "counter": "127.0.0.1:2", "seed": "ff",
-    "mgmt": "127.0.0.1:3", "limits": {"sockets": 1024, "memory_mb": 192}, "settings": FULL,
-    "known": {"version": 1, "full": True, "servers": [entry("a", 1)]}}
-PLATFORM_KEYS = ("listen", "discovery", "counter", "seed", "mgmt", "limits", "limits.sockets", "limits.memory_mb",
-                 "settings", "settings.policy_limits.dial_timeout_ms", "settings.policy_limits.conn_idle_ms",
-                 "settings.feedback", "settings.feedback.fields", "settings.feedback.how", "known", "known.servers")
+    "name": "g0",
+    "listen": "127.0.0.1:6379",
+    "discovery": "127.0.0.1:1",
+    "counter": "127.0.0.1:2",
+    "seed": "ff",
+    "mgmt": "127.0.0.1:3",
+    "limits": {"sockets": 1024, "memory_mb": 192},
+    "settings": FULL,
+    "known": {"version": 1, "full": True, "servers": [entry("a", 1)]},
+}
+PLATFORM_KEYS = (
+    "listen",
+    "discovery",
+    "counter",
+    "seed",
+    "mgmt",
+    "limits",
+    "limits.sockets",
+    "limits.memory_mb",
+    "settings",
+    "settings.policy_limits.dial_timeout_ms",
+    "settings.policy_limits.conn_idle_ms",
+    "settings.feedback",
+    "settings.feedback.fields",
+    "settings.feedback.how",
+    "known",
+    "known.servers",
+)
 ADDRESSES = ("127.0.0.1:0", "localhost:5", ":5", "127.0.0.1", "[::1]:5", "127.0.0.1:99999")
 ENTRY_KEYS = ("id", "addr", "zone", "kind", "cell", "state", "weight", "started_ms")
 
@@ -49,7 +71,9 @@
     return json.dumps(value)[:24]
 
 
-def about(path: str, raw: dict[str, Any], values: Iterable[Any], read: Callable[[dict[str, Any]], object]) -> list[str]:
+def about(
+    path: str, raw: dict[str, Any], values: Iterable[Any], read: Callable[[dict[str, Any]], object]
+) -> list[str]:
     """What is said with a key missing, and with each of the values under it."""
     lines = [f"{path} missing: {outcome(lambda: read(at(raw, path)))}"]
     for value in values:
@@ -77,12 +101,18 @@
         return read_config({"LB_CONFIG": str(file), **environ}, folder)
 
     lines = [line for path in PLATFORM_KEYS for line in about(path, PLATFORM, (*VALUES, *ADDRESSES), read)]
-    lines += [f"LB_LISTEN = {text}: {outcome(lambda: read(PLATFORM, LB_LISTEN=text))}"  # noqa: B023
-              for text in ADDRESSES]
-    lines += [f"LB_MGMT = {text}: {outcome(lambda: read(PLATFORM, LB_MGMT=text))}"  # noqa: B023
-              for text in (*ADDRESSES, "127.0.0.1:6379")]
-    lines += [f"LB_SOCKET_FD = {text}: {outcome(lambda: read(PLATFORM, LB_SOCKET_FD=text))}"  # noqa: B023
-              for text in ("x", "-1", "1e9")]
+    lines += [
+        f"LB_LISTEN = {text}: {outcome(lambda: read(PLATFORM, LB_LISTEN=text))}"  # noqa: B023
+        for text in ADDRESSES
+    ]
+    lines += [
+        f"LB_MGMT = {text}: {outcome(lambda: read(PLATFORM, LB_MGMT=text))}"  # noqa: B023
+        for text in (*ADDRESSES, "127.0.0.1:6379")
+    ]
+    lines += [
+        f"LB_SOCKET_FD = {text}: {outcome(lambda: read(PLATFORM, LB_SOCKET_FD=text))}"  # noqa: B023
+        for text in ("x", "-1", "1e9")
+    ]
     lines.append(f"mgmt as listen: {outcome(lambda: read({**PLATFORM, 'mgmt': PLATFORM['listen']}))}")
     lines.append(f"a list: {outcome(lambda: read([]))}")
     operators = folder / "deploy" / "badgeryoke.toml"
@@ -101,34 +131,76 @@
     return lines
 
 
-MEMBERS = "".join(f"[[fleet.members]]\nname = 'm{n}'\nhall = 'h{n}'\naddress = '127.0.0.1:{n}'\n" for n in (1, 2, 3))
+MEMBERS = "".join(
+    f"[[fleet.members]]\nname = 'm{n}'\nhall = 'h{n}'\naddress = '127.0.0.1:{n}'\n" for n in (1, 2, 3)
+)
 FLEET = "[fleet]\nenabled = true\nname = 'f'\nfolder = 'd'\n"
 OPERATORS_TEXTS = (
-    "", "[log]", "log = 1", "fleet = 1", "zzz = 1", "[counter_watch]\nenable = true", "[counter_watch]\nenabled = 1",
-    "[log]\nformat = 'xml'", "[log]\nlevel = 3", "[log]\nlevels = 'info'", "[fleet]\nenabled = true", FLEET,
-    FLEET + MEMBERS, FLEET + "copies = 2\n" + MEMBERS, FLEET + "copies = 5\n" + MEMBERS,
-    FLEET + "groups = 0\n" + MEMBERS, FLEET + "groups = 257\n" + MEMBERS,
-    FLEET + "capacity = -1.0\n" + MEMBERS, FLEET + "me = 'm9'\n" + MEMBERS,
-    FLEET + "fsink = true\n" + MEMBERS, FLEET + "fsync = 1\n" + MEMBERS, FLEET.replace("'f'", "'f f'") + MEMBERS,
-    FLEET.replace("folder = 'd'\n", "") + MEMBERS, FLEET + MEMBERS.replace("m2", "m1"),
+    "",
+    "[log]",
+    "log = 1",
+    "fleet = 1",
+    "zzz = 1",
+    "[counter_watch]\nenable = true",
+    "[counter_watch]\nenabled = 1",
+    "[log]\nformat = 'xml'",
+    "[log]\nlevel = 3",
+    "[log]\nlevels = 'info'",
+    "[fleet]\nenabled = true",
+    FLEET,
+    FLEET + MEMBERS,
+    FLEET + "copies = 2\n" + MEMBERS,
+    FLEET + "copies = 5\n" + MEMBERS,
+    FLEET + "groups = 0\n" + MEMBERS,
+    FLEET + "groups = 257\n" + MEMBERS,
+    FLEET + "capacity = -1.0\n" + MEMBERS,
+    FLEET + "me = 'm9'\n" + MEMBERS,
+    FLEET + "fsink = true\n" + MEMBERS,
+    FLEET + "fsync = 1\n" + MEMBERS,
+    FLEET.replace("'f'", "'f f'") + MEMBERS,
+    FLEET.replace("folder = 'd'\n", "") + MEMBERS,
+    FLEET + MEMBERS.replace("m2", "m1"),
     FLEET + MEMBERS.replace("h2", "!"),
-    FLEET + MEMBERS.replace("127.0.0.1:2", "127.0.0.1:1"), FLEET + MEMBERS.replace("127.0.0.1:2", "here"),
-    FLEET + MEMBERS.replace("hall = 'h2'\n", ""), FLEET + MEMBERS.replace("hall = 'h2'", "hal = 'h2'"),
-    FLEET + MEMBERS + "[fleet.servers]\nconnections = -1", FLEET + MEMBERS + "[fleet.servers.limits]\ns1 = 0",
-    FLEET + MEMBERS + "[fleet.servers]\nconnection = 1", FLEET + MEMBERS + "[fleet.forced]\ng0 = []",
-    FLEET + MEMBERS + "[fleet.forced]\nx0 = ['m1/1']", FLEET + MEMBERS + "[fleet.forced]\ng0 = ['m1']",
-    FLEET + MEMBERS + "[fleet.timings]\nzzz = 1", "[fleet]\nmembers = 1")
+    FLEET + MEMBERS.replace("127.0.0.1:2", "127.0.0.1:1"),
+    FLEET + MEMBERS.replace("127.0.0.1:2", "here"),
+    FLEET + MEMBERS.replace("hall = 'h2'\n", ""),
+    FLEET + MEMBERS.replace("hall = 'h2'", "hal = 'h2'"),
+    FLEET + MEMBERS + "[fleet.servers]\nconnections = -1",
+    FLEET + MEMBERS + "[fleet.servers.limits]\ns1 = 0",
+    FLEET + MEMBERS + "[fleet.servers]\nconnection = 1",
+    FLEET + MEMBERS + "[fleet.forced]\ng0 = []",
+    FLEET + MEMBERS + "[fleet.forced]\nx0 = ['m1/1']",
+    FLEET + MEMBERS + "[fleet.forced]\ng0 = ['m1']",
+    FLEET + MEMBERS + "[fleet.timings]\nzzz = 1",
+    "[fleet]\nmembers = 1",
+)
 DIAMETER = "enabled = true\norigin_host = 'g.example'\norigin_realm = 'example'\n"
 DIAMETER_TEXTS = (
-    "", "enabled = 1", "enabled = true", DIAMETER, DIAMETER.replace("'example'", "''"), DIAMETER + "listen = '::1'",
-    DIAMETER + "listen = '10.0.0.1:3868'", DIAMETER + "listen = '10.0.0.1:3868'\nbeyond_loopback = true",
-    DIAMETER + "plans = 1", DIAMETER + "[plans]\n1 = 'none'", DIAMETER + "[plans]\nx = 'field'",
+    "",
+    "enabled = 1",
+    "enabled = true",
+    DIAMETER,
+    DIAMETER.replace("'example'", "''"),
+    DIAMETER + "listen = '::1'",
+    DIAMETER + "listen = '10.0.0.1:3868'",
+    DIAMETER + "listen = '10.0.0.1:3868'\nbeyond_loopback = true",
+    DIAMETER + "plans = 1",
+    DIAMETER + "[plans]\n1 = 'none'",
+    DIAMETER + "[plans]\nx = 'field'",
     DIAMETER + "[plans]\n1 = 2",
-    DIAMETER + "[plans]\n1 = 'field'", DIAMETER + "classes = 1", DIAMETER + "[classes]\ncheck = 'tile-draw'",
-    DIAMETER + "[classes]\ndebit = 'tile-read'", DIAMETER + "[classes]\nother = 'tile-read'",
-    DIAMETER + "[classes]\ncheck = 'tile-read'\ndebit = 'mark-set'", DIAMETER + "server_kinds = 'x'",
-    DIAMETER + "clients = [1]", DIAMETER + "deadline_ms = -1", DIAMETER + "deadline_ms = true",
-    DIAMETER + "watchdog_s = 5", DIAMETER + "answers_kept_s = 0")
+    DIAMETER + "[plans]\n1 = 'field'",
+    DIAMETER + "classes = 1",
+    DIAMETER + "[classes]\ncheck = 'tile-draw'",
+    DIAMETER + "[classes]\ndebit = 'tile-read'",
+    DIAMETER + "[classes]\nother = 'tile-read'",
+    DIAMETER + "[classes]\ncheck = 'tile-read'\ndebit = 'mark-set'",
+    DIAMETER + "server_kinds = 'x'",
+    DIAMETER + "clients = [1]",
+    DIAMETER + "deadline_ms = -1",
+    DIAMETER + "deadline_ms = true",
+    DIAMETER + "watchdog_s = 5",
+    DIAMETER + "answers_kept_s = 0",
+)
 
 
 def operators_told(folder: Path) -> list[str]:
--- a/tests/golden_files.py
+++ b/tests/support/golden_files.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from pathlib import Path
 
-GATEWAY = Path(__file__).resolve().parent / "golden" / "gateway"
+from tests.support.paths import ROOT
+
+GATEWAY = ROOT / "tests" / "golden" / "gateway"
 
 
 def golden(name: str) -> bytes:
--- a/tests/gateway_drive.py
+++ b/tests/support/policy_drive.py
@@ -7,20 +7,25 @@
 from collections import defaultdict
 from dataclasses import replace
 
-from martenstep import interface as api
-from martenstep.decide import Gateway
-from tests import helpers
-from tests.canonical import canonical
+from badgeryoke.decisions import interface as api
+from badgeryoke.decisions.policy.engine import Gateway
+from tests.support import samples
+from tests.support.canonical import canonical
 
 OPEN_CAPPED = api.Plan("open", open_limit=3)
-SETTINGS = replace(helpers.SETTINGS, plans=(helpers.PLAIN, helpers.CAPPED, OPEN_CAPPED), max_units=2.0)
-SERVERS = (helpers.server(1), helpers.server(2), helpers.server(3, "b"), helpers.server(4, "b"))
-FRESH_AT = helpers.START + 6_000.0
-FRESH = helpers.server(5, started=FRESH_AT - 50.0)
+SETTINGS = replace(samples.SETTINGS, plans=(samples.PLAIN, samples.CAPPED, OPEN_CAPPED), max_units=2.0)
+SERVERS = (samples.server(1), samples.server(2), samples.server(3, "b"), samples.server(4, "b"))
+FRESH_AT = samples.START + 6_000.0
+FRESH = samples.server(5, started=FRESH_AT - 50.0)
 CUSTOMERS = {number: ("plain", "capped", "open", "capped")[number % 4] for number in range(7, 23)}
 CLASSES = ("read", "write", "pay")
-VERDICTS = (api.Verdict.OK,) * 12 + (api.Verdict.ERROR, api.Verdict.FULL, api.Verdict.CONNECT_FAILED,
-                                     api.Verdict.TIMEOUT, api.Verdict.RESET)
+VERDICTS = (api.Verdict.OK,) * 12 + (
+    api.Verdict.ERROR,
+    api.Verdict.FULL,
+    api.Verdict.CONNECT_FAILED,
+    api.Verdict.TIMEOUT,
+    api.Verdict.RESET,
+)
 COUNTER_VERDICTS = (api.Verdict.OK,) * 9 + (api.Verdict.TIMEOUT, api.Verdict.FULL)
 OTHERS_PER_CALL = 0.2  # units that another gateway tells the counter between two calls
 ARRIVAL_MS, ANSWER_MS, COUNTER_MS = 12.0, 60.0, (1.0, 30.0)
@@ -67,7 +72,9 @@
                 case api.Wake(at_ms=at, token=token):
                     self.schedule(max(at, self.now), api.Due(token))
                 case api.Cancel(id=request, attempt=attempt):
-                    self.schedule(self.now, api.Outcome(request, attempt, 1, api.Verdict.CANCELLED, 1.0, False))
+                    self.schedule(
+                        self.now, api.Outcome(request, attempt, 1, api.Verdict.CANCELLED, 1.0, False)
+                    )
                 case _:
                     pass
 
@@ -76,8 +83,15 @@
         self._arrived += 1
         customer = draw.choice(list(CUSTOMERS))
         at = self.now + draw.expovariate(1 / ARRIVAL_MS)
-        request = helpers.request(f"{self._prefix}{self._arrived}", draw.choice(CLASSES), CUSTOMERS[customer], customer,
-                                  draw.choice((0.25, 0.5, 1.0)), 2, draw.choice((300.0, 2000.0, 4000.0)))
+        request = samples.request(
+            f"{self._prefix}{self._arrived}",
+            draw.choice(CLASSES),
+            CUSTOMERS[customer],
+            customer,
+            draw.choice((0.25, 0.5, 1.0)),
+            2,
+            draw.choice((300.0, 2000.0, 4000.0)),
+        )
         self.schedule(at, request)
         if draw.random() < 0.05:
             self.schedule(at + 20.0, api.Left(request.id))
@@ -87,7 +101,7 @@
         self._attempts[send.id] += 1
         rtt = self._random.expovariate(1 / ANSWER_MS)
         verdict = self._random.choice(VERDICTS)
-        outcome = helpers.outcome(send, verdict, attempt, rtt)
+        outcome = samples.outcome(send, verdict, attempt, rtt)
         self.schedule(self.now + rtt, replace(outcome, true_units=self._random.choice((0.0, 0.25, 1.5))))
 
     def _counted(self, name: int, units: float) -> None:
