--- /dev/null
+++ b/tests/cluster_digest.py
@@ -0,0 +1,170 @@
+"""Digests of what the cluster part does: effects in order, without the names that its bytes may hold.
+
+An entry's body and a snapshot's body are MessagePack that names commands by their type, so they are read before they are
+taken in.  What depends on nothing but the length or the checksum of such bytes (the offsets of a snapshot's pieces, the
+checksums of answered calls) is left out.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterable, Sequence
+from functools import lru_cache
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from fleet.errors import FleetError
+from fleet.events import (
+    Call,
+    Done,
+    Entries,
+    NodeEvent,
+    Propose,
+    Received,
+    Saved,
+    Send,
+    Snapshot,
+    Store,
+    StoreBroke,
+)
+from fleet.messages import COMMAND, Append, Entry, Forward, Piece, PieceTaken, Reply
+from fleet.node import Node
+from fleet.part import Applied, Command
+from fleet.setup import FOUNDING
+from fleet.state import GroupState, decode
+from tests.canonical import Digest
+
+GOLDEN = Path(__file__).parent / "golden" / "digests" / "cluster.json"
+
+
+def check(name: str, digest: Digest) -> None:
+    """Compare a stream with what was recorded; one that was never recorded fails."""
+    golden: dict[str, list[object]] = json.loads(GOLDEN.read_text())
+    assert name in golden, f"no digest is recorded for {name}"
+    assert [digest.count, digest.hexdigest()] == golden[name], f"{name}: the behaviour is another than recorded"
+
+
+def command_values(command: Command) -> tuple[str, object]:
+    """A command: its values, with the mark of whether it only reads and whether it is taken once."""
+    return f"{command.reads}/{command.once}", command
+
+
+def applied_values(result: Applied | FleetError | None) -> object:
+    """An answer, with the stable code of its error."""
+    if isinstance(result, FleetError):
+        return result.code, result
+    if result is None:
+        return None
+    return result.value, None if result.error is None else (result.error.code, result.error)
+
+
+@lru_cache(maxsize=65536)
+def body_values(body: bytes) -> object:
+    """An entry's or a call's body."""
+    try:
+        at_ms, command = decode(body)
+    except msgspec.DecodeError:
+        return body
+    return at_ms, command_values(command)
+
+
+def entry_values(entry: Entry) -> object:
+    """An entry of a log; a configuration's bytes hold no name."""
+    body = body_values(entry.body) if entry.kind == COMMAND else entry.body
+    return entry.index, entry.term, entry.kind, body
+
+
+def state_values(body: bytes) -> object:
+    """A group's snapshot: its time, its index, the calls that are remembered, and each part in order."""
+    try:
+        at_ms, index, ids, parts = msgspec.msgpack.decode(body)
+    except (msgspec.DecodeError, TypeError, ValueError):
+        return body
+    return at_ms, index, [name for name, _, _ in ids], list(parts.values())
+
+
+def record_values(record: object, group: str) -> object:
+    """A record of a store."""
+    if isinstance(record, Entries):
+        return [entry_values(entry) for entry in record.entries]
+    if isinstance(record, Snapshot):
+        body = record.body if group == FOUNDING else state_values(record.body)
+        return record.index, record.term, record.config, body
+    return record
+
+
+def message_values(message: object) -> object:
+    """A message between members."""
+    match message:
+        case Append():
+            return (message.group, message.term, message.previous, message.previous_term,
+                    [entry_values(entry) for entry in message.entries], message.commit, message.round)
+        case Piece():
+            return message.group, message.term, message.index, message.index_term, message.config, message.round
+        case PieceTaken():
+            return message.group, message.term, message.index, message.round
+        case Forward():
+            return message.token, message.group, body_values(message.body), message.hops
+        case Reply():
+            return message.token
+    return message
+
+
+def effect_values(effect: object) -> object:
+    """An effect of a replica or a node."""
+    match effect:
+        case Send():
+            return "send", str(effect.to), message_values(effect.message)
+        case Store():
+            return "store", effect.group, effect.seq, [record_values(one, effect.group) for one in effect.records]
+        case Done():
+            result = effect.result
+            known = isinstance(result, Applied | FleetError)
+            return "done", effect.token, applied_values(result) if known else result
+    return "say", effect
+
+
+def event_values(event: object) -> object:
+    """An event of a replica or a node."""
+    match event:
+        case Received():
+            return str(event.sender), message_values(event.message)
+        case Call():
+            return event.token, command_values(event.command)
+        case Propose():
+            return event.token, body_values(event.body)
+        case StoreBroke():
+            return event.error.code, event.error
+    return event
+
+
+def saved_values(saved: Saved, group: str) -> object:
+    """What a store holds of a group."""
+    snapshot = None if saved.snapshot is None else record_values(saved.snapshot, group)
+    return saved.term, saved.vote, snapshot, [entry_values(entry) for entry in saved.entries]
+
+
+def add_effects(digest: Digest, now: float, effects: Iterable[object]) -> None:
+    """Take effects in, each for itself."""
+    for effect in effects:
+        digest.add((now, effect_values(effect)))
+
+
+class RecordedNode(Node):
+    """A node whose events and effects go into a digest."""
+
+    digest: Digest
+
+    def handle(self, now: float, wall: float, event: NodeEvent) -> Sequence[Any]:  # type: ignore[override]
+        """As the node's own."""
+        self.digest.add((now, wall, str(self.me), event_values(event)))
+        effects = super().handle(now, wall, event)
+        add_effects(self.digest, self.due, effects)
+        return effects
+
+
+def add_state(digest: Digest, state: GroupState) -> None:
+    """Take a snapshot of a group's state in."""
+    digest.add(state_values(state.dump()))
