--- a/tests/test_digest_decisions.py
+++ b/tests/test_digest_decisions.py
@@ -66,6 +66,8 @@
 CAPPED = replace(LOAD, plans=(
     api.Plan("tight", 6.0, 10.0, 0, 1.0, 0.0, 1.0, 9.0, 16.0, 2.0),
     api.Plan("wide", 20.0, 30.0, 3, 1.0, 0.6, 0.2, 60.0, 120.0, 10.0)))
+# A full part of the headroom holds three units to the last bit: a request of three just fits.
+EVEN = replace(LOAD, max_units=3.0, plans=(api.Plan("even", 5.0, 10.0, 0, 1.0, 0.0, 0.3, 15.0, 20.0),))
 SILENT, SOUND = (CounterTrouble.DEAD, CounterTrouble.UNREACHABLE), (CounterTrouble.NONE,)
 
 STREAMS = (
@@ -97,6 +99,7 @@
     Stream("build-few-servers", 27, replace(BUILD, cold_from=0.0), servers=2, requests_a_second=30.0),
     Stream("ceilings", 28, CAPPED, customers=8, spread=2, requests_a_second=90.0, elsewhere=2.0),
     Stream("ceilings-slow-servers", 29, CAPPED, customers=6, work_ms=200.0, requests_a_second=90.0),
+    Stream("ceilings-even", 30, replace(EVEN, has_counter=False), customers=200, requests_a_second=80.0),
     Stream("handover", 31, LOAD, handover_at=1500),
     Stream("handover-build", 32, BUILD, handover_at=1200, modules=2, work_ms=150.0),
     Stream("handover-busy-counter", 33, CAPPED, handover_at=2000, customers=12, requests_a_second=90.0,
