--- a/tests/test_digest_cluster.py
+++ b/tests/cluster/test_behaviour_digests.py
@@ -8,7 +8,8 @@
 
 import pytest
 
-from fleet.connections import (
+from badgeryoke.cluster.bootstrap import Record
+from badgeryoke.cluster.connection_limits import (
     MOST_LIMIT,
     Connections,
     ConnEnd,
@@ -19,28 +20,9 @@
     bucket,
     process,
 )
-from fleet.connections import Ask as ConnAsk
-from fleet.contracts import (
-    CancelContract,
-    Capacity,
-    Change,
-    ContractsKnown,
-    ContractsRead,
-    EndLease,
-    Lease,
-    Open,
-    Pass,
-    Propose,
-    Short,
-    Terms,
-    Told,
-    TurnFloor,
-    Used,
-    Window,
-    spans,
-)
-from fleet.errors import NoLeader, StoreFailed, UnknownOutcome
-from fleet.events import (
+from badgeryoke.cluster.connection_limits import Ask as ConnAsk
+from badgeryoke.cluster.errors import NoLeader, StoreFailed, UnknownOutcome
+from badgeryoke.cluster.events import (
     Call,
     HandOver,
     Leave,
@@ -56,18 +38,15 @@
     Stored,
     Tick,
 )
-from fleet.events import (
+from badgeryoke.cluster.events import (
     Change as ChangeMembers,
 )
-from fleet.events import Propose as ProposeEntry
-from fleet.floor import Floor, Reserved
-from fleet.founding import Record
-from fleet.groups import Enrol, Forgo, Moved, Places, Replace, copies_for, first_placing, forced, group_of
-from fleet.invariants import Invariants
-from fleet.leases import Divided
-from fleet.log import encode_config
-from fleet.membership import Membership
-from fleet.messages import (
+from badgeryoke.cluster.events import Propose as ProposeEntry
+from badgeryoke.cluster.invariants import Invariants
+from badgeryoke.cluster.key_value import Promise, PromiseRead
+from badgeryoke.cluster.leases.lease_pool import Divided
+from badgeryoke.cluster.membership.protocol import Membership
+from badgeryoke.cluster.messages import (
     COMMAND,
     CONFIG,
     Append,
@@ -90,12 +69,44 @@
     Vote,
     WhoAreYou,
 )
-from fleet.node import Node
-from fleet.owed import Claim, Line, Owe, OwedRead, OwedTold
-from fleet.part import FLEET, Command, View
-from fleet.promises import Promise, PromiseRead
-from fleet.replica import MOST_BODY, Replica
-from fleet.rollout import (
+from badgeryoke.cluster.node import Node
+from badgeryoke.cluster.node_setup import Setup
+from badgeryoke.cluster.placement.directory import (
+    Enrol,
+    Forgo,
+    Moved,
+    Places,
+    Replace,
+    copies_for,
+    first_placing,
+    forced,
+    group_of,
+)
+from badgeryoke.cluster.raft.log import encode_config
+from badgeryoke.cluster.raft.node import MOST_BODY, Replica
+from badgeryoke.cluster.reservations.contract import (
+    CancelContract,
+    Capacity,
+    Change,
+    ContractsKnown,
+    ContractsRead,
+    EndLease,
+    Lease,
+    Open,
+    Pass,
+    Propose,
+    Short,
+    Terms,
+    Told,
+    TurnFloor,
+    Used,
+    Window,
+    spans,
+)
+from badgeryoke.cluster.reservations.lease_client import Floor, Reserved
+from badgeryoke.cluster.reservations.priority_shedding import Claim as ShareClaim
+from badgeryoke.cluster.reservations.priority_shedding import Share
+from badgeryoke.cluster.rolling_restart.restart import (
     REPORTS,
     Facts,
     RollAsk,
@@ -114,17 +125,18 @@
     Turn,
     least_ms,
 )
-from fleet.setup import Setup
-from fleet.share import Claim as ShareClaim
-from fleet.share import Share
-from fleet.state import GroupState, command_from, encode
-from fleet.timings import Timings, faults
-from lab.fleet.drawn import play, play_seed
-from lab.fleet.faults import Plan
-from lab.fleet.world import FleetWorld
-from lab.text.scenario import Fault
-from tests.canonical import Digest
-from tests.cluster_digest import (
+from badgeryoke.cluster.state_machine.machine import GroupState, command_from, encode
+from badgeryoke.cluster.state_machine.part import FLEET, Command, View
+from badgeryoke.cluster.timings import Timings, faults
+from badgeryoke.cluster.unreported_usage import Claim, Line, Owe, OwedRead, OwedTold
+from badgeryoke.testbed.cluster_simulation.fault_plan import Plan
+from badgeryoke.testbed.cluster_simulation.generated_plans import play, play_seed
+from badgeryoke.testbed.cluster_simulation.world import FleetWorld
+from badgeryoke.testbed.scenario.model import Fault
+from tests.cluster.raft.test_raft import Storm, write
+from tests.cluster.test_membership import Net, members_of
+from tests.support.canonical import Digest
+from tests.support.cluster_digest import (
     RecordedNode,
     add_effects,
     add_state,
@@ -133,8 +145,6 @@
     command_values,
     saved_values,
 )
-from tests.test_fleet_membership import Net, members_of
-from tests.test_fleet_replica import Storm, write
 
 TIMINGS = Timings()
 SHORT = Timings(snapshot_entries=8, piece_bytes=48, most_batch=3, most_in_flight=6)
@@ -153,8 +163,19 @@
             effects = super().handle(now, event)
             for effect in effects:
                 digest.add(effect)
-            digest.add((self.due, self.role, self.term, self.commit, self.last, self.whole, self.removed,
-                        self.behind(), self.lagging()))
+            digest.add(
+                (
+                    self.due,
+                    self.role,
+                    self.term,
+                    self.commit,
+                    self.last,
+                    self.whole,
+                    self.removed,
+                    self.behind(),
+                    self.lagging(),
+                )
+            )
             return effects
 
     return Recorded
@@ -218,10 +239,12 @@
         return f"t{self.tokens}"
 
     def entries(self, previous: int, term: int) -> tuple[Entry, ...]:
-        made = tuple(Entry(previous + 1 + at, term, COMMAND, f"e{previous}-{at}".encode())
-                     for at in range(self.draw.choice((0, 0, 1, 2, 3))))
+        made = tuple(
+            Entry(previous + 1 + at, term, COMMAND, f"e{previous}-{at}".encode())
+            for at in range(self.draw.choice((0, 0, 1, 2, 3)))
+        )
         if made and self.draw.random() < 0.1:
-            voters = self.names[:self.draw.randint(2, len(self.names))]
+            voters = self.names[: self.draw.randint(2, len(self.names))]
             made = (*made[:-1], Entry(made[-1].index, term, CONFIG, encode_config(Config(voters))))
         return made
 
@@ -229,19 +252,37 @@
         draw, term, index = self.draw, self.term(), self.index()
         kind = draw.choices(range(7), (14, 14, 25, 25, 6, 3, 4))[0]
         if kind == 0:
-            return Ask("g", term, index, draw.choice((term, term - 1, 0)), draw.random() < 0.5, draw.random() < 0.2)
+            return Ask(
+                "g", term, index, draw.choice((term, term - 1, 0)), draw.random() < 0.5, draw.random() < 0.2
+            )
         if kind == 1:
             return Vote("g", term, draw.random() < 0.8, draw.random() < 0.5)
         if kind == 2:
-            return Append("g", term, index, draw.choice((term, term, term - 1)), self.entries(index, term), index,
-                          draw.randint(0, 20))
+            return Append(
+                "g",
+                term,
+                index,
+                draw.choice((term, term, term - 1)),
+                self.entries(index, term),
+                index,
+                draw.randint(0, 20),
+            )
         if kind == 3:
             return Appended("g", term, draw.random() < 0.8, index, draw.randint(0, 40))
         if kind == 4:
             size = draw.choice((0, 4, 8))
             offset = draw.choice((0, 0, 4))
-            return Piece("g", term, index + draw.randint(0, 4), term, Config(self.names[:3]), offset, size,
-                         b"a|b|c|d|"[offset:offset + 4], draw.randint(0, 20))
+            return Piece(
+                "g",
+                term,
+                index + draw.randint(0, 4),
+                term,
+                Config(self.names[:3]),
+                offset,
+                size,
+                b"a|b|c|d|"[offset : offset + 4],
+                draw.randint(0, 20),
+            )
         if kind == 5:
             return PieceTaken("g", term, index, draw.randint(0, 60), draw.randint(0, 20))
         return Lead("g", term)
@@ -255,11 +296,17 @@
             case Append():
                 last = message.previous + len(message.entries)
                 if self.draw.random() < 0.1:
-                    return Received(sent.to, Appended("g", message.term, False, max(last - 3, 0), message.round))
+                    return Received(
+                        sent.to, Appended("g", message.term, False, max(last - 3, 0), message.round)
+                    )
                 return Received(sent.to, Appended("g", message.term, True, last, message.round))
             case Piece():
-                return Received(sent.to, PieceTaken("g", message.term, message.index,
-                                                    message.offset + len(message.body), message.round))
+                return Received(
+                    sent.to,
+                    PieceTaken(
+                        "g", message.term, message.index, message.offset + len(message.body), message.round
+                    ),
+                )
         return None
 
     def event(self, seqs: list[int]) -> ReplicaEvent:
@@ -280,8 +327,9 @@
         if chance < 0.96:
             return Read(self.token())
         if chance < 0.99:
-            return ChangeMembers(self.token(), draw.choice(("learn", "promote", "remove", "dance")),
-                                 draw.choice(self.names))
+            return ChangeMembers(
+                self.token(), draw.choice(("learn", "promote", "remove", "dance")), draw.choice(self.names)
+            )
         return HandOver(draw.choice((*self.names, "")))
 
 
@@ -290,12 +338,21 @@
     """Messages that no group would send, with breaches of the invariants noted and not raised."""
     digest, draw = Digest(), random.Random(2000 + seed)
     names = tuple(f"{name}/1" for name in "abcde")
-    voters = Config(names[:draw.choice((1, 3, 3, 5))])
+    voters = Config(names[: draw.choice((1, 3, 3, 5))])
     rules, saved, now = Invariants(strict=False), Saved(), 0.0
     for life in range(6):
         machine = Rows()
-        replica = recorded_replica(digest)("g", names[0], saved, machine, SHORT, random.Random(seed * 10 + life), rules,
-                                           now, voters if life % 5 < 4 else None)
+        replica = recorded_replica(digest)(
+            "g",
+            names[0],
+            saved,
+            machine,
+            SHORT,
+            random.Random(seed * 10 + life),
+            rules,
+            now,
+            voters if life % 5 < 4 else None,
+        )
         strangers, seqs = Strangers(draw, replica, names), list[int]()
         strangers.friendly = seed % 2 == 1
         for _ in range(150):
@@ -316,7 +373,9 @@
 
 def test_a_group_that_is_forced() -> None:
     digest, config = Digest(), Config(("a/1", "b/1", "c/1"))
-    saved = Saved(4, "b/1", Snapshot(3, 2, config, b"x"), (Entry(4, 3, COMMAND, b"y"), Entry(5, 4, COMMAND, b"z")))
+    saved = Saved(
+        4, "b/1", Snapshot(3, 2, config, b"x"), (Entry(4, 3, COMMAND, b"y"), Entry(5, 4, COMMAND, b"z"))
+    )
     for lost in (("b/1", "c/1"), ("b/1",), (), ("c/1", "b/1"), ("b/1", "d/1")):
         digest.add(saved_values(forced(saved, "g", "a/1", lost, START), "g"))
     check("forced", digest)
@@ -341,8 +400,17 @@
         """Take in what each member believes."""
         for name, node in self.nodes.items():
             if isinstance(node, Membership):
-                self.digest.add((name, node.due, node.alive(), node.dead_for(self.now), node.ids(), node.halls(),
-                                 [node.state_of(one.name) for one in self.members]))
+                self.digest.add(
+                    (
+                        name,
+                        node.due,
+                        node.alive(),
+                        node.dead_for(self.now),
+                        node.ids(),
+                        node.halls(),
+                        [node.state_of(one.name) for one in self.members],
+                    )
+                )
 
 
 def trouble(net: RecordedNet, draw: random.Random, names: list[str]) -> None:
@@ -369,13 +437,17 @@
 
 def odd_gossip(draw: random.Random, ids: list[Id]) -> Any:
     """A message of no member's."""
-    rumours = tuple(Rumour(draw.choice((*ids, "zz/1")), draw.randint(0, 3), draw.randint(0, 3), draw.choice((*ids, "")))
-                    for _ in range(3))
+    rumours = tuple(
+        Rumour(draw.choice((*ids, "zz/1")), draw.randint(0, 3), draw.randint(0, 3), draw.choice((*ids, "")))
+        for _ in range(3)
+    )
     who, seq = draw.choice(ids), draw.randint(0, 9)
     return draw.choice((Ping(seq, who, rumours, START), PingFor(seq, who, rumours), Nack(seq, who, rumours)))
 
 
-@pytest.mark.parametrize(("count", "seed", "steps"), [(3, 1, 60), (3, 2, 60), (10, 3, 40), (10, 4, 40), (40, 5, 10)])
+@pytest.mark.parametrize(
+    ("count", "seed", "steps"), [(3, 1, 60), (3, 2, 60), (10, 3, 40), (10, 4, 40), (40, 5, 10)]
+)
 def test_members(count: int, seed: int, steps: int) -> None:
     digest, draw = Digest(), random.Random(3000 + seed)
     net = RecordedNet(count, seed, "membership", digest)
@@ -392,8 +464,10 @@
             net.look()
         up = [name for name in net.nodes if name not in net.frozen]
         if up and draw.random() < 0.3:
-            net.give(draw.choice(up), Received(draw.choice(list(net.ids.values())),
-                                               odd_gossip(draw, list(net.ids.values()))))
+            net.give(
+                draw.choice(up),
+                Received(draw.choice(list(net.ids.values())), odd_gossip(draw, list(net.ids.values()))),
+            )
         if len(up) > 2 and draw.random() < 0.1:
             leaver = draw.choice(up)
             net.carry(leaver, net.nodes[leaver].leave(net.now))
@@ -434,7 +508,9 @@
 def test_placing_by_hash() -> None:
     digest = Digest()
     for members in (1, 2, 3, 5, 8, 20):
-        record = Record("yard", "f0", "m000/1", tuple((f"{one.name}/1", one.hall) for one in members_of(members)), 8, 5)
+        record = Record(
+            "yard", "f0", "m000/1", tuple((f"{one.name}/1", one.hall) for one in members_of(members)), 8, 5
+        )
         digest.add(first_placing(record))
         digest.add([copies_for(copies, members) for copies in range(1, 8)])
     digest.add([group_of(f"{kind}:{at}", 8) for kind in "tsp" for at in range(200)] + [group_of("", 3)])
@@ -445,7 +521,9 @@
 
 WHO = tuple(f"m{at:03}/{at}" for at in range(6))
 GATEWAYS = tuple(f"m{at:03}" for at in range(6))
-HOLDERS = tuple(process(who, boot, begun) for who in WHO[:3] for boot, begun in (("b1", "1"), ("b1", "2"), ("", "3")))
+HOLDERS = tuple(
+    process(who, boot, begun) for who in WHO[:3] for boot, begun in (("b1", "1"), ("b1", "2"), ("", "3"))
+)
 SERVERS = ("alpha", "beta", "gamma", "delta")
 FLOORS = tuple(f"c{at}" for at in range(6))
 
@@ -463,10 +541,16 @@
         return f"i{self.made if self.draw.random() < 0.97 else max(self.made - 5, 1)}"
 
     def number(self) -> int:
-        return self.draw.choice(self.numbers[-8:]) if self.draw.random() < 0.9 else self.draw.choice((-1, 0, 7, 1 << 60))
+        return (
+            self.draw.choice(self.numbers[-8:])
+            if self.draw.random() < 0.9
+            else self.draw.choice((-1, 0, 7, 1 << 60))
+        )
 
     def figure(self, most: float) -> float:
-        return self.draw.uniform(0.0, most) if self.draw.random() < 0.97 else self.draw.choice((-1.0, 0.0, 1e12))
+        return (
+            self.draw.uniform(0.0, most) if self.draw.random() < 0.97 else self.draw.choice((-1.0, 0.0, 1e12))
+        )
 
     def terms(self) -> Terms:
         draw = self.draw
@@ -474,15 +558,25 @@
         length = draw.choice((0.0, 2000.0, 5000.0, 15_000.0, 15_000.0))
         windows = [Window(begin, begin + length)]
         if draw.random() < 0.3:
-            windows = [Window(begin, begin + length, length + draw.choice((1000.0, 30_000.0, -10.0)), begin + 90_000.0)]
+            windows = [
+                Window(
+                    begin, begin + length, length + draw.choice((1000.0, 30_000.0, -10.0)), begin + 90_000.0
+                )
+            ]
         if draw.random() < 0.1:
             windows.append(Window(begin + draw.choice((0.0, 100_000.0)), begin + 120_000.0))
         if draw.random() < 0.02:
             windows = []
-        return Terms(draw.choice(("ta", "tb", "tc", "t d") if draw.random() < 0.1 else ("ta", "tb")),
-                     tuple(draw.sample(range(20), draw.randint(1, 3))) if draw.random() < 0.97 else (1, 1),
-                     self.figure(60.0), self.figure(40.0), tuple(windows), draw.choice(("", "", "a", "b")),
-                     draw.random() < 0.7, draw.choice((1, 2, 5, 9)) if draw.random() < 0.98 else 12)
+        return Terms(
+            draw.choice(("ta", "tb", "tc", "t d") if draw.random() < 0.1 else ("ta", "tb")),
+            tuple(draw.sample(range(20), draw.randint(1, 3))) if draw.random() < 0.97 else (1, 1),
+            self.figure(60.0),
+            self.figure(40.0),
+            tuple(windows),
+            draw.choice(("", "", "a", "b")),
+            draw.random() < 0.7,
+            draw.choice((1, 2, 5, 9)) if draw.random() < 0.98 else 12,
+        )
 
     def contract(self) -> str:
         return self.draw.choice(FLOORS) if self.draw.random() < 0.97 else "not a name"
@@ -491,89 +585,181 @@
         draw = self.draw
         kind = draw.randint(0, 23)
         if kind == 0:
-            return Capacity(id=self.id(), units=self.figure(400.0), reserve=draw.choice((0.0, 0.2, 0.2, 1.5)),
-                            floor=self.figure(30.0), halls={"a": 80.0, "b": self.figure(200.0)})
+            return Capacity(
+                id=self.id(),
+                units=self.figure(400.0),
+                reserve=draw.choice((0.0, 0.2, 0.2, 1.5)),
+                floor=self.figure(30.0),
+                halls={"a": 80.0, "b": self.figure(200.0)},
+            )
         if kind < 6:
-            return Propose(id=self.id(), contract=f"{self.contract()}{draw.choice(('', '-x', '-y'))}",
-                           terms=self.terms())
+            return Propose(
+                id=self.id(), contract=f"{self.contract()}{draw.choice(('', '-x', '-y'))}", terms=self.terms()
+            )
         if kind == 6:
-            return Change(id=self.id(), contract=self.contract(), terms=self.terms(),
-                          holds_from_ms=self.at + draw.choice((100.0, 5000.0, 9000.0, -1.0)))
+            return Change(
+                id=self.id(),
+                contract=self.contract(),
+                terms=self.terms(),
+                holds_from_ms=self.at + draw.choice((100.0, 5000.0, 9000.0, -1.0)),
+            )
         if kind == 7:
             return CancelContract(id=self.id(), contract=self.contract())
         if kind in (8, 9):
             return Told(id=self.id(), contract=self.contract(), version=draw.randint(0, 30))
         if kind in (10, 11):
-            return Short(id=self.id(), contract=self.contract(), by=draw.choice(GATEWAYS), cause=draw.choice("xyz"),
-                         units=self.figure(50.0), since_ms=self.at - 1000.0)
+            return Short(
+                id=self.id(),
+                contract=self.contract(),
+                by=draw.choice(GATEWAYS),
+                cause=draw.choice("xyz"),
+                units=self.figure(50.0),
+                since_ms=self.at - 1000.0,
+            )
         if kind in (12, 13):
             return Pass(id=self.id())
         if kind == 14:
             name = draw.choice(GATEWAYS)
             return Enrol(id=self.id(), name=name, who=f"{name}/{draw.randint(0, 8)}", hall=draw.choice("ab"))
         if kind == 15:
-            return Replace(id=self.id(), group=f"g{draw.randint(0, 4)}", lost=draw.choice((*WHO, "")),
-                           new=draw.choice((*WHO, "")), most=draw.randint(0, 3))
+            return Replace(
+                id=self.id(),
+                group=f"g{draw.randint(0, 4)}",
+                lost=draw.choice((*WHO, "")),
+                new=draw.choice((*WHO, "")),
+                most=draw.randint(0, 3),
+            )
         if kind == 16:
-            return Moved(id=self.id(), group=f"g{draw.randint(0, 4)}", number=draw.randint(0, 40),
-                         voters=tuple(draw.sample(WHO, draw.randint(1, 4))), behind=tuple(draw.sample(WHO, 1)))
+            return Moved(
+                id=self.id(),
+                group=f"g{draw.randint(0, 4)}",
+                number=draw.randint(0, 40),
+                voters=tuple(draw.sample(WHO, draw.randint(1, 4))),
+                behind=tuple(draw.sample(WHO, 1)),
+            )
         if kind == 17:
             return Forgo(id=self.id(), group=f"g{draw.randint(0, 4)}", new=draw.choice(WHO), why="w")
         return self.roll()
 
     def facts(self) -> Facts:
         draw = self.draw
-        return Facts(draw.choice((0, 0, 0, 1)), draw.choice((1, 1, 0, -1)), draw.choice((0, 0, 0, 1)),
-                     draw.choice((-1.0, 50.0)), draw.choice((10.0, 60.0)))
+        return Facts(
+            draw.choice((0, 0, 0, 1)),
+            draw.choice((1, 1, 0, -1)),
+            draw.choice((0, 0, 0, 1)),
+            draw.choice((-1.0, 50.0)),
+            draw.choice((10.0, 60.0)),
+        )
 
     def roll(self) -> Command:
         draw, roll = self.draw, f"r{self.draw.randint(0, 3)}"
         kind, name = draw.randint(0, 9), draw.choice(GATEWAYS)
         if kind in (0, 1):
-            return RollAsk(id=self.id(), roll=roll, gateways=tuple(draw.sample(GATEWAYS, draw.randint(0, 3))),
-                           hall=draw.choice(("", "", "", "a")), reason="why", at_once=draw.choice((1, 2, 0)),
-                           deadline_ms=draw.choice((2000.0, 60_000.0, -1.0)),
-                           act=draw.choice(("restart", "hold", "sing")), warm_ms=500.0, hall_may_go=draw.random() < 0.3)
+            return RollAsk(
+                id=self.id(),
+                roll=roll,
+                gateways=tuple(draw.sample(GATEWAYS, draw.randint(0, 3))),
+                hall=draw.choice(("", "", "", "a")),
+                reason="why",
+                at_once=draw.choice((1, 2, 0)),
+                deadline_ms=draw.choice((2000.0, 60_000.0, -1.0)),
+                act=draw.choice(("restart", "hold", "sing")),
+                warm_ms=500.0,
+                hall_may_go=draw.random() < 0.3,
+            )
         if kind == 2:
             return RollCancel(id=self.id(), roll=roll)
         if kind == 3:
-            return RollResume(id=self.id(), roll=roll, gateway=draw.choice(("", name)), force=draw.random() < 0.3)
+            return RollResume(
+                id=self.id(), roll=roll, gateway=draw.choice(("", name)), force=draw.random() < 0.3
+            )
         if kind == 4:
-            return RollTurn(id=self.id(), roll=roll, stamp=draw.choice((self.stamp, self.stamp, 3)),
-                            turn=draw.choice(list(Turn)).name, why="w", order=GATEWAYS[:3], members=6)
+            return RollTurn(
+                id=self.id(),
+                roll=roll,
+                stamp=draw.choice((self.stamp, self.stamp, 3)),
+                turn=draw.choice(list(Turn)).name,
+                why="w",
+                order=GATEWAYS[:3],
+                members=6,
+            )
         if kind == 5:
-            return RollWave(id=self.id(), roll=roll, stamp=draw.choice((self.stamp, self.stamp, 3)),
-                            gateways=(name,), facts=self.facts())
+            return RollWave(
+                id=self.id(),
+                roll=roll,
+                stamp=draw.choice((self.stamp, self.stamp, 3)),
+                gateways=(name,),
+                facts=self.facts(),
+            )
         if kind in (6, 7):
-            return RollStep(id=self.id(), roll=roll, gateway=name, round=draw.randint(0, 2),
-                            step=draw.choice(list(Step)).name, facts=draw.choice((None, self.facts())),
-                            stamp=draw.choice((self.stamp, self.stamp, -1)))
-        return RollReport(id=self.id(), roll=roll, gateway=name, round=draw.randint(0, 2),
-                          what=draw.choice((*REPORTS, "gone")), process=draw.choice((name, f"{name}-2", "")))
+            return RollStep(
+                id=self.id(),
+                roll=roll,
+                gateway=name,
+                round=draw.randint(0, 2),
+                step=draw.choice(list(Step)).name,
+                facts=draw.choice((None, self.facts())),
+                stamp=draw.choice((self.stamp, self.stamp, -1)),
+            )
+        return RollReport(
+            id=self.id(),
+            roll=roll,
+            gateway=name,
+            round=draw.randint(0, 2),
+            what=draw.choice((*REPORTS, "gone")),
+            process=draw.choice((name, f"{name}-2", "")),
+        )
 
     def lease(self) -> Command:
         draw = self.draw
-        return Lease(id=self.id(), tenant="ta", contract=self.contract(), holder=draw.choice((*WHO, "")[:7]),
-                     number=self.number(), keep=self.figure(20.0), wish=self.figure(40.0), room=self.figure(10.0),
-                     hold=self.figure(20.0), need=self.figure(5.0), soft=draw.random() < 0.3, least=self.figure(3.0),
-                     pulls=draw.random() < 0.3, process=draw.choice(("", "p1", "p2")), order=draw.randint(0, self.made))
+        return Lease(
+            id=self.id(),
+            tenant="ta",
+            contract=self.contract(),
+            holder=draw.choice((*WHO, "")[:7]),
+            number=self.number(),
+            keep=self.figure(20.0),
+            wish=self.figure(40.0),
+            room=self.figure(10.0),
+            hold=self.figure(20.0),
+            need=self.figure(5.0),
+            soft=draw.random() < 0.3,
+            least=self.figure(3.0),
+            pulls=draw.random() < 0.3,
+            process=draw.choice(("", "p1", "p2")),
+            order=draw.randint(0, self.made),
+        )
 
     def connection(self) -> Command:
         draw, server = self.draw, self.draw.choice(SERVERS)
         kind, where = draw.randint(0, 9), bucket(server)
         if kind == 0:
-            return Limit(id=self.id(), server=server, most=draw.choice((1, 10, 25, 40, 0, MOST_LIMIT + 1)),
-                         idle_ms=draw.choice((3000.0, 500.0, -1.0)))
+            return Limit(
+                id=self.id(),
+                server=server,
+                most=draw.choice((1, 10, 25, 40, 0, MOST_LIMIT + 1)),
+                idle_ms=draw.choice((3000.0, 500.0, -1.0)),
+            )
         if kind == 1 and draw.random() < 0.3:
             return Unlimit(id=self.id(), server=server)
         if kind == 2:
             holder = draw.choice(HOLDERS)
-            return ConnEnd(id=self.id(), holder=holder, bucket=where, ends=((server, self.number()),),
-                           proof=draw.choice(("idle", "reset", "guess")), by=draw.choice(HOLDERS))
-        asks = tuple(ConnAsk(one, self.number(), draw.randint(0, 12), draw.randint(0, 30))
-                     for one in SERVERS if bucket(one) == where or draw.random() < 0.02)
-        return ConnLeases(id=self.id(), holder=draw.choice(HOLDERS), bucket=where, asks=asks,
-                          fresh=draw.random() < 0.2)
+            return ConnEnd(
+                id=self.id(),
+                holder=holder,
+                bucket=where,
+                ends=((server, self.number()),),
+                proof=draw.choice(("idle", "reset", "guess")),
+                by=draw.choice(HOLDERS),
+            )
+        asks = tuple(
+            ConnAsk(one, self.number(), draw.randint(0, 12), draw.randint(0, 30))
+            for one in SERVERS
+            if bucket(one) == where or draw.random() < 0.02
+        )
+        return ConnLeases(
+            id=self.id(), holder=draw.choice(HOLDERS), bucket=where, asks=asks, fresh=draw.random() < 0.2
+        )
 
     def tenant(self) -> Command:
         draw = self.draw
@@ -582,50 +768,85 @@
         kind = draw.randint(0, 15)
         if kind < 2:
             begin = self.at + draw.choice((0.0, -100.0, 2000.0))
-            return Open(id=self.id(), tenant="ta", contract=self.contract(), version=draw.randint(0, 12),
-                        rate=self.figure(60.0), burst=self.figure(30.0),
-                        times=((begin, begin + 20_000.0), (begin + 30_000.0, begin + 60_000.0)),
-                        holds_from_ms=self.at + draw.choice((0.0, 4000.0)))
+            return Open(
+                id=self.id(),
+                tenant="ta",
+                contract=self.contract(),
+                version=draw.randint(0, 12),
+                rate=self.figure(60.0),
+                burst=self.figure(30.0),
+                times=((begin, begin + 20_000.0), (begin + 30_000.0, begin + 60_000.0)),
+                holds_from_ms=self.at + draw.choice((0.0, 4000.0)),
+            )
         if kind < 8:
             return self.lease()
         if kind < 10:
             first = int(self.at / 5.0)
-            return Used(id=self.id(), tenant="ta", contract=self.contract(), by=draw.choice(GATEWAYS),
-                        slices=tuple((first - draw.randint(0, 500), self.figure(4.0), draw.uniform(0.0, 2.0))
-                                     for _ in range(draw.randint(1, 8))))
+            return Used(
+                id=self.id(),
+                tenant="ta",
+                contract=self.contract(),
+                by=draw.choice(GATEWAYS),
+                slices=tuple(
+                    (first - draw.randint(0, 500), self.figure(4.0), draw.uniform(0.0, 2.0))
+                    for _ in range(draw.randint(1, 8))
+                ),
+            )
         if kind == 10:
-            return EndLease(id=self.id(), tenant="ta", contract=self.contract(), holder=draw.choice(WHO),
-                            number=self.number())
+            return EndLease(
+                id=self.id(),
+                tenant="ta",
+                contract=self.contract(),
+                holder=draw.choice(WHO),
+                number=self.number(),
+            )
         if kind == 11:
             return TurnFloor(id=self.id(), tenant="ta", contract=self.contract())
         batch = f"b{draw.randint(0, 40)}"
         if kind == 12:
-            return Promise(id=self.id(), name=draw.choice(("x", "y", "z", "")),
-                           value=draw.choice(("1", "2", "v" * 1025)))
+            return Promise(
+                id=self.id(), name=draw.choice(("x", "y", "z", "")), value=draw.choice(("1", "2", "v" * 1025))
+            )
         if kind == 13:
             lines = tuple(Line(f"n{at}", self.figure(9.0), 1000.0) for at in range(draw.randint(0, 3)))
             return Owe(id=batch, tenant=draw.choice(("ta", "tb")), by=draw.choice(WHO), lines=lines)
         if kind == 14:
             return Claim(id=self.id(), tenant="ta", batch=batch, by=draw.choice(WHO))
-        return OwedTold(id=self.id(), tenant="ta", batch=batch, by=draw.choice(WHO), known=draw.random() < 0.5)
+        return OwedTold(
+            id=self.id(), tenant="ta", batch=batch, by=draw.choice(WHO), known=draw.random() < 0.5
+        )
 
 
 def reads(group: str) -> list[Command]:
     """Every query of a group."""
     if group == FLEET:
-        return [ContractsRead(id="q"), ContractsKnown(id="q"), ContractsKnown(id="q", have=3), Places(id="q"),
-                RollsRead(id="q"), *(RollRead(id="q", gateway=name) for name in GATEWAYS)]
+        return [
+            ContractsRead(id="q"),
+            ContractsKnown(id="q"),
+            ContractsKnown(id="q", have=3),
+            Places(id="q"),
+            RollsRead(id="q"),
+            *(RollRead(id="q", gateway=name) for name in GATEWAYS),
+        ]
     return [PromiseRead(id="q", name="x"), OwedRead(id="q", tenant="ta"), ContractsRead(id="q"), Pass(id="q")]
 
 
 def view_of(draw: random.Random, now: float, wall: float, since: float) -> View:
     """What a leader may look at."""
     dead = {who: draw.choice((500.0, 4000.0, 50_000.0)) for who in WHO if draw.random() < 0.12}
-    return View(now, wall, WHO[0], since, TIMINGS, frozenset(who for who in WHO if who not in dead), dead,
-                {name: "ab"[at % 2] for at, name in enumerate(GATEWAYS)},
-                {"capacity": 200.0, "demand": draw.uniform(0.0, 150.0)},
-                {"g0": WHO[:3], "g1": WHO[2:5], FLEET: WHO[:3]},
-                {"g0": (draw.choice(WHO),)} if draw.random() < 0.1 else {})
+    return View(
+        now,
+        wall,
+        WHO[0],
+        since,
+        TIMINGS,
+        frozenset(who for who in WHO if who not in dead),
+        dead,
+        {name: "ab"[at % 2] for at, name in enumerate(GATEWAYS)},
+        {"capacity": 200.0, "demand": draw.uniform(0.0, 150.0)},
+        {"g0": WHO[:3], "g1": WHO[2:5], FLEET: WHO[:3]},
+        {"g0": (draw.choice(WHO),)} if draw.random() < 0.1 else {},
+    )
 
 
 class Applier:
@@ -639,14 +860,19 @@
     def fresh(self) -> GroupState:
         made = GroupState(self.group, TIMINGS, self.rules)
         if self.group == FLEET:
-            made.parts["placing"].begin(Record("yard", "f0", WHO[0], tuple(
-                (who, "ab"[at % 2]) for at, who in enumerate(WHO[:5])), 4, 3))
+            made.parts["placing"].begin(
+                Record(
+                    "yard", "f0", WHO[0], tuple((who, "ab"[at % 2]) for at, who in enumerate(WHO[:5])), 4, 3
+                )
+            )
         return made
 
     def apply(self, at_ms: float, command: Command) -> Any:
         self.index += 1
         result = self.state.apply(self.now, self.index, encode(at_ms, command))
-        self.digest.add((at_ms, command_values(command), command.key(), command.fault(), applied_values(result)))
+        self.digest.add(
+            (at_ms, command_values(command), command.key(), command.fault(), applied_values(result))
+        )
         return result
 
     def look(self) -> None:
@@ -696,13 +922,23 @@
 
 def test_commands_from_operators() -> None:
     digest = Digest()
-    for name, fields in (("Promise", {"id": "1", "name": "x", "value": "y"}), ("Promise", {"id": "1", "name": 3}),
-                         ("Promise", {"id": "1", "name": "", "value": "y"}), ("Nothing", {}),
-                         ("RollAsk", {"id": "1", "roll": "r", "at_once": 0})):
+    for name, fields in (
+        ("Promise", {"id": "1", "name": "x", "value": "y"}),
+        ("Promise", {"id": "1", "name": 3}),
+        ("Promise", {"id": "1", "name": "", "value": "y"}),
+        ("Nothing", {}),
+        ("RollAsk", {"id": "1", "roll": "r", "at_once": 0}),
+    ):
         made = command_from(name, dict(fields))
         digest.add(command_values(made) if isinstance(made, Command) else made)
-    for timings in (TIMINGS, Timings(heartbeat_ms=0.0), Timings(election_ms=100.0), Timings(clock_drift=0.7),
-                    Timings(probe_timeout_ms=400.0), Timings(lease_ms=1000.0)):
+    for timings in (
+        TIMINGS,
+        Timings(heartbeat_ms=0.0),
+        Timings(election_ms=100.0),
+        Timings(clock_drift=0.7),
+        Timings(probe_timeout_ms=400.0),
+        Timings(lease_ms=1000.0),
+    ):
         digest.add((faults(timings), timings.outlast()))
     digest.add(spans((Window(5.0, 6.0), Window(1.0, 2.0, 2.0, 4.0))))
     check("operators", digest)
@@ -720,15 +956,36 @@
             who = draw.choice(WHO)
             held = divided.held.get(who)
             number = held.number if held is not None and draw.random() < 0.9 else draw.choice((0, 0, 3))
-            keep = held.part * draw.choice((0.0, 0.5, 1.0, 1.0)) if held is not None else draw.choice((0.0, 0.0, 3.0))
+            keep = (
+                held.part * draw.choice((0.0, 0.5, 1.0, 1.0))
+                if held is not None
+                else draw.choice((0.0, 0.0, 3.0))
+            )
             cap = held.cap if held is not None else 0.0
-            digest.add(divided.ask(
-                who, number, keep, draw.choice((0.0, 5.0, 30.0, 80.0)), cap * draw.choice((0.0, 0.0, 0.3)), rules,
-                cap * draw.choice((0.0, 0.5, 0.7)), draw.choice((0.0, 0.0, 4.0)), draw.random() < 0.3,
-                draw.choice((0.0, 1.0)), draw.random() < 0.3))
+            digest.add(
+                divided.ask(
+                    who,
+                    number,
+                    keep,
+                    draw.choice((0.0, 5.0, 30.0, 80.0)),
+                    cap * draw.choice((0.0, 0.0, 0.3)),
+                    rules,
+                    cap * draw.choice((0.0, 0.5, 0.7)),
+                    draw.choice((0.0, 0.0, 4.0)),
+                    draw.random() < 0.3,
+                    draw.choice((0.0, 1.0)),
+                    draw.random() < 0.3,
+                )
+            )
             digest.add([divided.excess(one) for one in divided.held])
-            digest.add((divided.fair(who, 30.0), divided.fair(who, 20.0, True, True),
-                        divided.whole, divided.granted()))
+            digest.add(
+                (
+                    divided.fair(who, 30.0),
+                    divided.fair(who, 20.0, True, True),
+                    divided.whole,
+                    divided.granted(),
+                )
+            )
             divided.seen(now)
             if step % 25 == 24:
                 divided.resize(draw.uniform(40.0, 140.0), draw.choice((0.0, 30.0, 60.0)))
@@ -747,9 +1004,18 @@
     for step in range(800):
         now += draw.choice((0.0, 3.0, 40.0))
         if step % 20 == 0:
-            digest.add(share.set(now, draw.uniform(0.0, 120.0), [
-                ShareClaim(f"c{at}", draw.choice((1, 2, 3)), draw.uniform(0.0, 50.0), draw.uniform(0.0, 50.0))
-                for at in range(draw.randint(0, 5))]))
+            digest.add(
+                share.set(
+                    now,
+                    draw.uniform(0.0, 120.0),
+                    [
+                        ShareClaim(
+                            f"c{at}", draw.choice((1, 2, 3)), draw.uniform(0.0, 50.0), draw.uniform(0.0, 50.0)
+                        )
+                        for at in range(draw.randint(0, 5))
+                    ],
+                )
+            )
         digest.add(share.may(now, draw.choice(("", "c0", "c1", "c3", "c9")), draw.uniform(0.5, 4.0)))
     digest.add(share.flows)
     check("shares", digest)
@@ -801,8 +1067,10 @@
     def go(self, ms: float) -> None:
         """Time goes on; answers arrive, calls are made."""
         self.now += ms
-        arrived, self.late = ([one for one in self.late if one[0] <= self.now],
-                              [one for one in self.late if one[0] > self.now])
+        arrived, self.late = (
+            [one for one in self.late if one[0] <= self.now],
+            [one for one in self.late if one[0] > self.now],
+        )
         for _, holder, command, result in arrived:
             holder.answered(self.now, command, result)
         for holder in self.holders:
@@ -838,9 +1106,20 @@
     clients.apply(Capacity(id="cap", units=200.0, reserve=0.1, floor=10.0))
     begin = clients.wall
     for at, (rate, rank) in enumerate(((30.0, 1), (60.0, 5), (15.0, 9))):
-        clients.apply(Propose(id=f"p{at}", contract=f"c{at}", terms=Terms(
-            "ta", (3 * at, 3 * at + 1, 3 * at + 2), rate, 20.0,
-            (Window(begin + 1500.0, begin + 9000.0), Window(begin + 12_000.0, begin + 15_000.0)), rank=rank)))
+        clients.apply(
+            Propose(
+                id=f"p{at}",
+                contract=f"c{at}",
+                terms=Terms(
+                    "ta",
+                    (3 * at, 3 * at + 1, 3 * at + 2),
+                    rate,
+                    20.0,
+                    (Window(begin + 1500.0, begin + 9000.0), Window(begin + 12_000.0, begin + 15_000.0)),
+                    rank=rank,
+                ),
+            )
+        )
     held: list[tuple[Floor, Reserved]] = []
     for step in range(1300):
         quiet = 350 < step < 450 or (seed == 3 and step % 400 > 300)
@@ -850,8 +1129,16 @@
         if step % 8 == 0:
             clients.work()
         if step == 200:
-            clients.apply(Change(id="ch", contract="c1", holds_from_ms=clients.wall + 5000.0, terms=Terms(
-                "ta", (3, 4, 5, 6), 40.0, 10.0, (Window(begin + 1500.0, begin + 9000.0),), rank=5)))
+            clients.apply(
+                Change(
+                    id="ch",
+                    contract="c1",
+                    holds_from_ms=clients.wall + 5000.0,
+                    terms=Terms(
+                        "ta", (3, 4, 5, 6), 40.0, 10.0, (Window(begin + 1500.0, begin + 9000.0),), rank=5
+                    ),
+                )
+            )
         if step == 420:
             clients.apply(CancelContract(id="ca", contract="c2"))
         if step == 700:
@@ -864,7 +1151,9 @@
     check(f"floors-{seed}", digest)
 
 
-def connections_step(draw: random.Random, now: float, keeper: Keeper, is_open: dict[str, int], digest: Digest) -> None:
+def connections_step(
+    draw: random.Random, now: float, keeper: Keeper, is_open: dict[str, int], digest: Digest
+) -> None:
     """One gateway opens and closes."""
     for server in SERVERS:
         need = draw.choice((0, 2, 5, 12)) if draw.random() < 0.1 else -1
@@ -906,12 +1195,20 @@
         if step % 10 == 0:
             clients.work()
         if step % 120 == 60:
-            clients.apply(Limit(id=f"m{step}", server=draw.choice(SERVERS[:3]), most=draw.randint(6, 30),
-                                idle_ms=2000.0))
+            clients.apply(
+                Limit(
+                    id=f"m{step}", server=draw.choice(SERVERS[:3]), most=draw.randint(6, 30), idle_ms=2000.0
+                )
+            )
         if step % 150 == 149:
             again = draw.randrange(4)
-            keepers[again] = Keeper(process(WHO[again], draw.choice(("b1", "b2")), str(step)), TIMINGS, rules,
-                                    clients.now, alone=True)
+            keepers[again] = Keeper(
+                process(WHO[again], draw.choice(("b1", "b2")), str(step)),
+                TIMINGS,
+                rules,
+                clients.now,
+                alone=True,
+            )
             keepers[again].grow = draw.choice((1.0, 1.5))
             clients.holders[again], opened[again] = keepers[again], {}
         if step == 500:
@@ -933,18 +1230,34 @@
     draw, moved = clients.draw, list[int]()
     sides = [Rolled(name, f"{name}-1", 6, lambda: moved.append(1)) for name in GATEWAYS[:5]]
     clients.holders += sides
-    clients.apply(RollAsk(id="ask", roll="r", gateways=() if seed % 2 else GATEWAYS[:4], at_once=1 + seed % 3,
-                          act="hold" if seed % 4 == 2 else "restart", warm_ms=400.0, hall_may_go=seed == 5,
-                          deadline_ms=3000.0))
+    clients.apply(
+        RollAsk(
+            id="ask",
+            roll="r",
+            gateways=() if seed % 2 else GATEWAYS[:4],
+            at_once=1 + seed % 3,
+            act="hold" if seed % 4 == 2 else "restart",
+            warm_ms=400.0,
+            hall_may_go=seed == 5,
+            deadline_ms=3000.0,
+        )
+    )
     for step in range(900):
         for at, side in enumerate(sides):
             drained = side.paused
-            side.tell(leads=0 if draw.random() < 0.8 else 1, trimmed=draw.random() < 0.8, drained=drained,
-                      empty=draw.random() < 0.6 and seed != 6, whole=draw.random() < 0.7)
+            side.tell(
+                leads=0 if draw.random() < 0.8 else 1,
+                trimmed=draw.random() < 0.8,
+                drained=drained,
+                empty=draw.random() < 0.6 and seed != 6,
+                whole=draw.random() < 0.7,
+            )
             duties = side.duties(clients.now)
             digest.add((duties, side.stand, side.mine, side.lead_nothing, side.grow, side.due, len(moved)))
             if duties and draw.random() < 0.3:
-                sides[at] = clients.holders[at] = Rolled(side.me, f"{side.me}-{step}", 6, lambda: moved.append(1))
+                sides[at] = clients.holders[at] = Rolled(
+                    side.me, f"{side.me}-{step}", 6, lambda: moved.append(1)
+                )
             elif side.stand in (Stand.PAUSING, Stand.EMPTYING):
                 side.paused = True
             elif side.stand is None or side.stand in (Stand.RETURNING, Stand.UNDOING):
@@ -966,7 +1279,9 @@
     for _ in range(60):
         groups = {f"g{at}": tuple(draw.sample(GATEWAYS, 3)) for at in range(4)}
         halls = {name: draw.choice("ab") for name in GATEWAYS}
-        digest.add(least_ms(draw.sample(GATEWAYS, 4), groups, halls, draw.randint(1, 4), draw.random(), 1000.0))
+        digest.add(
+            least_ms(draw.sample(GATEWAYS, 4), groups, halls, draw.randint(1, 4), draw.random(), 1000.0)
+        )
     check("least-roll", digest)
 
 
@@ -986,9 +1301,20 @@
 @pytest.mark.parametrize("full", ["full", "slow-disk"])
 def test_a_world_with_bad_disks(full: str) -> None:
     digest = Digest()
-    played = play(Plan(31, 4, 2, length_ms=9000.0, snapshot_entries=20, faults=(
-        Fault(4000.0, full, "gateway", ((2,),), 200.0), Fault(6000.0, full, "gateway", ((3,),), 90.0))),
-        recorded_world(digest))
+    played = play(
+        Plan(
+            31,
+            4,
+            2,
+            length_ms=9000.0,
+            snapshot_entries=20,
+            faults=(
+                Fault(4000.0, full, "gateway", ((2,),), 200.0),
+                Fault(6000.0, full, "gateway", ((3,),), 90.0),
+            ),
+        ),
+        recorded_world(digest),
+    )
     digest.add(played.plain())
     check(f"world-{full}", digest)
 
@@ -1007,7 +1333,9 @@
 
     Recorded.digest = digest
     members = members_of(1)
-    node = Recorded(Setup("yard", "m000", "1", members, 1, 2, TIMINGS, 100.0), {}, random.Random(1), 0.0, START, rules)
+    node = Recorded(
+        Setup("yard", "m000", "1", members, 1, 2, TIMINGS, 100.0), {}, random.Random(1), 0.0, START, rules
+    )
     now, seqs = 0.0, list[Store]()
     answers_of(node, digest, now, Call("early", Promise(id="e", name="n", value="v")))
     for step in range(300):
@@ -1015,7 +1343,9 @@
         effects = list(node.handle(now, START + now, Tick()))
         while effects:
             seqs = [effect for effect in effects if isinstance(effect, Store)]
-            effects = [later for one in seqs for later in node.handle(now, START + now, Stored(one.group, one.seq))]
+            effects = [
+                later for one in seqs for later in node.handle(now, START + now, Stored(one.group, one.seq))
+            ]
         if step % 10 == 9:
             answers_of(node, digest, now, Call(f"c{step}", Promise(id=f"p{step}", name="n", value=f"{step}")))
             answers_of(node, digest, now, Call(f"r{step}", PromiseRead(id=f"q{step}", name="n")))
@@ -1038,9 +1368,20 @@
     check("node-alone", digest)
 
 
-@pytest.mark.parametrize(("seed", "members", "kind"), [
-    (1, 3, "links"), (2, 5, "machines"), (3, 3, "disks"), (4, 4, "everything"), (5, 3, "storm"), (15, 3, "wild"),
-    (7, 3, "contracts"), (8, 4, "drains"), (17, 5, "drains")])
+@pytest.mark.parametrize(
+    ("seed", "members", "kind"),
+    [
+        (1, 3, "links"),
+        (2, 5, "machines"),
+        (3, 3, "disks"),
+        (4, 4, "everything"),
+        (5, 3, "storm"),
+        (15, 3, "wild"),
+        (7, 3, "contracts"),
+        (8, 4, "drains"),
+        (17, 5, "drains"),
+    ],
+)
 def test_worlds(seed: int, members: int, kind: str) -> None:
     digest = Digest()
     played = play_seed(seed, members, kind, recorded_world(digest))
@@ -1056,15 +1397,39 @@
     rolls = applier.state.parts["rolls"]
     assert isinstance(rolls, Rolls) and rolls.active is not None
     for turn, order in ((Turn.SEEN, ()), (Turn.PLANNED, ()), (Turn.PLANNED, GATEWAYS[:4])):
-        applier.apply(START, RollTurn(id=f"{turn.name}{len(order)}", roll="r", stamp=rolls.active.changes,
-                                      turn=turn.name, order=order, members=6))
+        applier.apply(
+            START,
+            RollTurn(
+                id=f"{turn.name}{len(order)}",
+                roll="r",
+                stamp=rolls.active.changes,
+                turn=turn.name,
+                order=order,
+                members=6,
+            ),
+        )
     waves = [(GATEWAYS[:3], good), (("nobody",), good), ((), good), (GATEWAYS[:2], good)]
-    waves[:0] = [(GATEWAYS[:1], facts) for facts in (
-        Facts(1, 1, 0, -1.0, 0.0), Facts(0, -1, 0, -1.0, 0.0), Facts(0, 1, 1, -1.0, 0.0), Facts(0, 1, 0, 5.0, 9.0))]
+    waves[:0] = [
+        (GATEWAYS[:1], facts)
+        for facts in (
+            Facts(1, 1, 0, -1.0, 0.0),
+            Facts(0, -1, 0, -1.0, 0.0),
+            Facts(0, 1, 1, -1.0, 0.0),
+            Facts(0, 1, 0, 5.0, 9.0),
+        )
+    ]
     for at, (gateways, facts) in enumerate(waves):
         for behind in (-1, 1, 0):
-            applier.apply(START + at, RollWave(id=f"w{at}/{behind}", roll="r", gateways=gateways, facts=facts,
-                                               stamp=rolls.active.changes - behind))
+            applier.apply(
+                START + at,
+                RollWave(
+                    id=f"w{at}/{behind}",
+                    roll="r",
+                    gateways=gateways,
+                    facts=facts,
+                    stamp=rolls.active.changes - behind,
+                ),
+            )
     applier.look()
     check("roll-waves", digest)
 
@@ -1082,7 +1447,11 @@
                 keeper.answered(now, command, clients.apply(command))
             if step % 100 == 0 and keeper.may_open(now, server):
                 keeper.opened(now, server)
-        found = (keeper.may_open(now, server), keeper.held(now, server), sum(n for _, n in keeper.must_close(now)))
+        found = (
+            keeper.may_open(now, server),
+            keeper.held(now, server),
+            sum(n for _, n in keeper.must_close(now)),
+        )
         if found != before:
             digest.add((now, found))
         before = found
--- a/tests/test_digest_decisions.py
+++ b/tests/decisions/test_behaviour_digests.py
@@ -10,62 +10,124 @@
 import random
 from collections.abc import Callable, Mapping
 from dataclasses import replace
-from pathlib import Path
 
 import pytest
 
-from lab.fleet.drawn import play_scenario
-from lab.referee import Referee
-from lab.sim.counter import Answer, CounterModel
-from lab.sim.world import World
-from lab.text.scenario import Scenario, load, shipped
-from martenstep import interface as api
-from martenstep import reserved
-from martenstep.plans.book import Fault, PlanBook
-from martenstep.plans.carry import Figures, Held, arrival_of, carry, carry_ceiling, carry_quota, room_of
-from martenstep.watch.bound import beyond_units, noticed_ms, stated
-from martenstep.watch.guarded import Guarded
-from tests.canonical import Digest
-from tests.event_streams import CounterTrouble, Driver, ServerTrouble, Stream
-from tests.fleet import Fleet
-
-GOLDEN = Path(__file__).parent / "golden" / "digests" / "decisions.json"
+from badgeryoke.decisions import interface as api
+from badgeryoke.decisions import priority_admission
+from badgeryoke.decisions.counter_health.error_bound import beyond_units, noticed_ms, stated
+from badgeryoke.decisions.counter_health.monitored_policy import Guarded
+from badgeryoke.decisions.plan_schedule.carry_over import (
+    Figures,
+    Held,
+    arrival_of,
+    carry,
+    carry_ceiling,
+    carry_quota,
+    room_of,
+)
+from badgeryoke.decisions.plan_schedule.schedule import Fault, PlanBook
+from badgeryoke.testbed.checkers.quota_checker import Referee
+from badgeryoke.testbed.cluster_simulation.generated_plans import play_scenario
+from badgeryoke.testbed.scenario.model import Scenario, load, shipped
+from badgeryoke.testbed.simulation.counter import Answer, CounterModel
+from badgeryoke.testbed.simulation.world import World
+from tests.support.canonical import Digest
+from tests.support.event_streams import CounterTrouble, Driver, ServerTrouble, Stream
+from tests.support.paths import ROOT
+from tests.support.policy_fleet import Fleet
+
+GOLDEN = ROOT / "tests" / "golden" / "digests" / "decisions.json"
 LONGEST_MS = 30_000.0  # of a scenario is played, ...
 CLUSTER_MS = 13_000.0  # ... and of what its gateways share
 
 # Settings ---------------------------------------------------------------------------------------------
 
 LOAD = api.Settings(
-    me=0, gateways=3, zone="a", tick_ms=4.0,
-    classes=(api.RequestClass("look", 400.0, 2000.0, api.Effect.SAFE),
-             api.RequestClass("book", 750.0, 2000.0, api.Effect.KEYED, api.Group.ALL, 1000.0, 2.0)),
-    plans=(api.Plan("small", 1.6, 6.5, 0, 0.8, 0.0, 1.2), api.Plan("middle", 6.4, 28.0, 0, 1.2, 0.0, 0.5),
-           api.Plan("large", 25.0, 48.0, 0, 1.6, 0.0, 1.2, 50.0, 96.0, 6.0)),
-    has_counter=True, counter_timeout_ms=50.0, max_units=6.0, max_attempts=3, can_cancel=True,
-    max_retry_after_ms=1000.0, answer_slack_ms=16.0, cold_from=0.3, warm_within_ms=10_000.0, fall_multiple=3.0,
-    fall_window_ms=1500.0)
-LOAD_CHANGED = replace(LOAD, max_attempts=2, plans=(
-    api.Plan("small", 3.2, 9.0, 0, 0.8, 0.0, 1.2), api.Plan("middle", 2.0, 8.0, 0, 1.2, 0.0, 0.5, 6.0, 20.0, 2.0),
-    api.Plan("large", 12.0, 20.0, 0, 1.6, 0.0, 1.2)))
+    me=0,
+    gateways=3,
+    zone="a",
+    tick_ms=4.0,
+    classes=(
+        api.RequestClass("look", 400.0, 2000.0, api.Effect.SAFE),
+        api.RequestClass("book", 750.0, 2000.0, api.Effect.KEYED, api.Group.ALL, 1000.0, 2.0),
+    ),
+    plans=(
+        api.Plan("small", 1.6, 6.5, 0, 0.8, 0.0, 1.2),
+        api.Plan("middle", 6.4, 28.0, 0, 1.2, 0.0, 0.5),
+        api.Plan("large", 25.0, 48.0, 0, 1.6, 0.0, 1.2, 50.0, 96.0, 6.0),
+    ),
+    has_counter=True,
+    counter_timeout_ms=50.0,
+    max_units=6.0,
+    max_attempts=3,
+    can_cancel=True,
+    max_retry_after_ms=1000.0,
+    answer_slack_ms=16.0,
+    cold_from=0.3,
+    warm_within_ms=10_000.0,
+    fall_multiple=3.0,
+    fall_window_ms=1500.0,
+)
+LOAD_CHANGED = replace(
+    LOAD,
+    max_attempts=2,
+    plans=(
+        api.Plan("small", 3.2, 9.0, 0, 0.8, 0.0, 1.2),
+        api.Plan("middle", 2.0, 8.0, 0, 1.2, 0.0, 0.5, 6.0, 20.0, 2.0),
+        api.Plan("large", 12.0, 20.0, 0, 1.6, 0.0, 1.2),
+    ),
+)
 BUILD = api.Settings(
-    me=0, gateways=3, zone="a", tick_ms=2.0,
-    classes=(api.RequestClass("status", 1500.0, 4000.0, api.Effect.SAFE, worth=3.0, late_share=0.2),
-             api.RequestClass("store", 2000.0, 8000.0, api.Effect.KEYED, api.Group.CELL, 2500.0),
-             api.RequestClass("start", 2500.0, 8000.0, api.Effect.KEYED, api.Group.ZONE, 8000.0, 5.0),
-             api.RequestClass("pay", 900.0, 3000.0, api.Effect.UNSAFE)),
-    plans=(api.Plan("free"), api.Plan("starter", 1.6, 7.0, 2, 0.5, 0.0, 1.0),
-           api.Plan("studio", 2.7, 12.0, 5, 0.72, 0.2, 0.0), api.Plan("agency", 8.0, 16.0, 0, 1.2, 0.0, 0.5),
-           api.Plan("network", 20.0, 36.0, 0, 1.4, 0.0, 0.6, 46.0, 80.0, 4.0)),
-    has_counter=True, counter_timeout_ms=80.0, max_units=4.0, max_attempts=5, can_cancel=True,
-    max_retry_after_ms=2000.0, must_subscribe=True, answer_slack_ms=8.0, cold_from=0.25, warm_within_ms=14_000.0,
-    fall_multiple=3.0, fall_window_ms=1000.0)
-BUILD_CHANGED = replace(BUILD, classes=BUILD.classes[:3], can_cancel=False, plans=(
-    api.Plan("free", 5.0, 9.0), api.Plan("starter", 1.6, 7.0, 4, 0.5, 0.0, 1.0), api.Plan("agency", 2.0, 4.0),
-    api.Plan("network", 30.0, 60.0, 0, 1.4, 0.0, 0.6, 40.0, 70.0, 4.0)))
+    me=0,
+    gateways=3,
+    zone="a",
+    tick_ms=2.0,
+    classes=(
+        api.RequestClass("status", 1500.0, 4000.0, api.Effect.SAFE, worth=3.0, late_share=0.2),
+        api.RequestClass("store", 2000.0, 8000.0, api.Effect.KEYED, api.Group.CELL, 2500.0),
+        api.RequestClass("start", 2500.0, 8000.0, api.Effect.KEYED, api.Group.ZONE, 8000.0, 5.0),
+        api.RequestClass("pay", 900.0, 3000.0, api.Effect.UNSAFE),
+    ),
+    plans=(
+        api.Plan("free"),
+        api.Plan("starter", 1.6, 7.0, 2, 0.5, 0.0, 1.0),
+        api.Plan("studio", 2.7, 12.0, 5, 0.72, 0.2, 0.0),
+        api.Plan("agency", 8.0, 16.0, 0, 1.2, 0.0, 0.5),
+        api.Plan("network", 20.0, 36.0, 0, 1.4, 0.0, 0.6, 46.0, 80.0, 4.0),
+    ),
+    has_counter=True,
+    counter_timeout_ms=80.0,
+    max_units=4.0,
+    max_attempts=5,
+    can_cancel=True,
+    max_retry_after_ms=2000.0,
+    must_subscribe=True,
+    answer_slack_ms=8.0,
+    cold_from=0.25,
+    warm_within_ms=14_000.0,
+    fall_multiple=3.0,
+    fall_window_ms=1000.0,
+)
+BUILD_CHANGED = replace(
+    BUILD,
+    classes=BUILD.classes[:3],
+    can_cancel=False,
+    plans=(
+        api.Plan("free", 5.0, 9.0),
+        api.Plan("starter", 1.6, 7.0, 4, 0.5, 0.0, 1.0),
+        api.Plan("agency", 2.0, 4.0),
+        api.Plan("network", 30.0, 60.0, 0, 1.4, 0.0, 0.6, 40.0, 70.0, 4.0),
+    ),
+)
 ALONE = replace(BUILD, gateways=1, must_subscribe=False)
-CAPPED = replace(LOAD, plans=(
-    api.Plan("tight", 6.0, 10.0, 0, 1.0, 0.0, 1.0, 9.0, 16.0, 2.0),
-    api.Plan("wide", 20.0, 30.0, 3, 1.0, 0.6, 0.2, 60.0, 120.0, 10.0)))
+CAPPED = replace(
+    LOAD,
+    plans=(
+        api.Plan("tight", 6.0, 10.0, 0, 1.0, 0.0, 1.0, 9.0, 16.0, 2.0),
+        api.Plan("wide", 20.0, 30.0, 3, 1.0, 0.6, 0.2, 60.0, 120.0, 10.0),
+    ),
+)
 # A full part of the headroom holds three units to the last bit: a request of three just fits.
 EVEN = replace(LOAD, max_units=3.0, plans=(api.Plan("even", 5.0, 10.0, 0, 1.0, 0.0, 0.3, 15.0, 20.0),))
 SILENT, SOUND = (CounterTrouble.DEAD, CounterTrouble.UNREACHABLE), (CounterTrouble.NONE,)
@@ -73,10 +135,24 @@
 STREAMS = (
     Stream("load", 11, LOAD),
     Stream("load-retuned", 12, LOAD, LOAD_CHANGED),
-    Stream("load-busy-forty", 13, replace(LOAD, gateways=40), servers=24, requests_a_second=40.0, spread=12,
-           work_ms=90.0),
-    Stream("load-two-hundred", 14, replace(LOAD, gateways=200), servers=40, requests_a_second=12.0, spread=40,
-           elsewhere=3.0),
+    Stream(
+        "load-busy-forty",
+        13,
+        replace(LOAD, gateways=40),
+        servers=24,
+        requests_a_second=40.0,
+        spread=12,
+        work_ms=90.0,
+    ),
+    Stream(
+        "load-two-hundred",
+        14,
+        replace(LOAD, gateways=200),
+        servers=40,
+        requests_a_second=12.0,
+        spread=40,
+        elsewhere=3.0,
+    ),
     Stream("load-without-counter", 15, replace(LOAD, has_counter=False), requests_a_second=90.0),
     Stream("load-three-modules", 16, LOAD, modules=3, events=12_000, requests_a_second=40.0, elsewhere=0.0),
     Stream("load-no-cancel", 17, replace(LOAD, can_cancel=False), server_trouble=0.4, work_ms=120.0),
@@ -85,41 +161,120 @@
     Stream("load-failing", 34, LOAD, server_trouble=0.9),
     Stream("load-failing-uncancelled", 35, replace(LOAD, can_cancel=False, gateways=12), server_trouble=0.8),
     Stream("load-many-customers", 37, LOAD, customers=400, elsewhere=0.2),
-    Stream("load-silent", 38, LOAD, customers=600, elsewhere=0.1, server_troubles=(ServerTrouble.SILENT,),
-           work_ms=30.0, cores=8, counter_trouble=SOUND),
+    Stream(
+        "load-silent",
+        38,
+        LOAD,
+        customers=600,
+        elsewhere=0.1,
+        server_troubles=(ServerTrouble.SILENT,),
+        work_ms=30.0,
+        cores=8,
+        counter_trouble=SOUND,
+    ),
     Stream("build", 21, BUILD, zones=("a", "b", "c"), work_ms=180.0),
     Stream("build-retuned", 22, BUILD, BUILD_CHANGED, zones=("a", "b", "c"), work_ms=180.0),
     Stream("build-streamed", 23, BUILD, work_ms=150.0, streamed=frozenset({"store", "status"})),
     Stream("build-alone", 24, ALONE, work_ms=180.0, requests_a_second=90.0, spread=1, elsewhere=0.0),
-    Stream("build-overload", 25, BUILD, work_ms=500.0, requests_a_second=120.0, server_trouble=0.5, events=10_000),
+    Stream(
+        "build-overload", 25, BUILD, work_ms=500.0, requests_a_second=120.0, server_trouble=0.5, events=10_000
+    ),
     Stream("build-forty", 26, replace(BUILD, gateways=40), BUILD_CHANGED, servers=16, spread=9, cores=6),
-    Stream("build-failing", 36, replace(BUILD, gateways=40), server_trouble=0.8, streamed=frozenset({"start"})),
-    Stream("build-silent", 39, replace(ALONE, plans=(api.Plan("free"),)), work_ms=60.0, cores=8, server_trouble=0.25,
-           server_troubles=(ServerTrouble.SILENT, ServerTrouble.RESETTING), spread=1),
+    Stream(
+        "build-failing", 36, replace(BUILD, gateways=40), server_trouble=0.8, streamed=frozenset({"start"})
+    ),
+    Stream(
+        "build-silent",
+        39,
+        replace(ALONE, plans=(api.Plan("free"),)),
+        work_ms=60.0,
+        cores=8,
+        server_trouble=0.25,
+        server_troubles=(ServerTrouble.SILENT, ServerTrouble.RESETTING),
+        spread=1,
+    ),
     Stream("build-few-servers", 27, replace(BUILD, cold_from=0.0), servers=2, requests_a_second=30.0),
     Stream("ceilings", 28, CAPPED, customers=8, spread=2, requests_a_second=90.0, elsewhere=2.0),
     Stream("ceilings-slow-servers", 29, CAPPED, customers=6, work_ms=200.0, requests_a_second=90.0),
     Stream("ceilings-even", 30, replace(EVEN, has_counter=False), customers=200, requests_a_second=80.0),
     Stream("handover", 31, LOAD, handover_at=1500),
     Stream("handover-build", 32, BUILD, handover_at=1200, modules=2, work_ms=150.0),
-    Stream("handover-busy-counter", 33, CAPPED, handover_at=2000, customers=12, requests_a_second=90.0,
-           counter_trouble=(CounterTrouble.BUSY, CounterTrouble.SLOW)),
-    Stream("reserved", 41, LOAD, reserved_share=0.3, make=reserved.Gateway),
-    Stream("reserved-ceilings", 42, CAPPED, reserved_share=0.5, customers=6, requests_a_second=100.0, spread=2,
-           make=reserved.Gateway),
-    Stream("reserved-overload", 43, BUILD, reserved_share=0.4, work_ms=500.0, requests_a_second=100.0,
-           make=reserved.Gateway),
-    Stream("reserved-handover", 44, CAPPED, reserved_share=0.4, customers=10, handover_at=1500,
-           make=reserved.Gateway),
-    Stream("watched", 51, LOAD, modules=3, events=12_000, elsewhere=0.0, requests_a_second=40.0, make=Guarded),
+    Stream(
+        "handover-busy-counter",
+        33,
+        CAPPED,
+        handover_at=2000,
+        customers=12,
+        requests_a_second=90.0,
+        counter_trouble=(CounterTrouble.BUSY, CounterTrouble.SLOW),
+    ),
+    Stream("reserved", 41, LOAD, reserved_share=0.3, make=priority_admission.Gateway),
+    Stream(
+        "reserved-ceilings",
+        42,
+        CAPPED,
+        reserved_share=0.5,
+        customers=6,
+        requests_a_second=100.0,
+        spread=2,
+        make=priority_admission.Gateway,
+    ),
+    Stream(
+        "reserved-overload",
+        43,
+        BUILD,
+        reserved_share=0.4,
+        work_ms=500.0,
+        requests_a_second=100.0,
+        make=priority_admission.Gateway,
+    ),
+    Stream(
+        "reserved-handover",
+        44,
+        CAPPED,
+        reserved_share=0.4,
+        customers=10,
+        handover_at=1500,
+        make=priority_admission.Gateway,
+    ),
+    Stream(
+        "watched", 51, LOAD, modules=3, events=12_000, elsewhere=0.0, requests_a_second=40.0, make=Guarded
+    ),
     Stream("watched-alone", 52, LOAD, LOAD_CHANGED, make=Guarded),
-    Stream("watched-ceilings", 53, CAPPED, modules=3, customers=8, events=12_000, elsewhere=0.0, make=Guarded,
-           counter_trouble=(CounterTrouble.SPLIT, CounterTrouble.DEAD, CounterTrouble.FORGETFUL)),
-    Stream("watched-reserved", 54, CAPPED, modules=3, customers=8, events=12_000, elsewhere=0.0, reserved_share=0.3,
-           make=lambda settings, seed: Guarded(settings, seed, reserved.Gateway),
-           counter_trouble=(CounterTrouble.SPLIT, CounterTrouble.UNREACHABLE, CounterTrouble.SLOW)),
-    Stream("watched-forty", 55, replace(LOAD, gateways=40), modules=8, events=12_000, requests_a_second=20.0,
-           elsewhere=0.0, spread=8, make=Guarded),
+    Stream(
+        "watched-ceilings",
+        53,
+        CAPPED,
+        modules=3,
+        customers=8,
+        events=12_000,
+        elsewhere=0.0,
+        make=Guarded,
+        counter_trouble=(CounterTrouble.SPLIT, CounterTrouble.DEAD, CounterTrouble.FORGETFUL),
+    ),
+    Stream(
+        "watched-reserved",
+        54,
+        CAPPED,
+        modules=3,
+        customers=8,
+        events=12_000,
+        elsewhere=0.0,
+        reserved_share=0.3,
+        make=lambda settings, seed: Guarded(settings, seed, priority_admission.Gateway),
+        counter_trouble=(CounterTrouble.SPLIT, CounterTrouble.UNREACHABLE, CounterTrouble.SLOW),
+    ),
+    Stream(
+        "watched-forty",
+        55,
+        replace(LOAD, gateways=40),
+        modules=8,
+        events=12_000,
+        requests_a_second=20.0,
+        elsewhere=0.0,
+        spread=8,
+        make=Guarded,
+    ),
 )
 
 # What is digested --------------------------------------------------------------------------------------
@@ -133,8 +288,11 @@
 def scenario_digest(name: str) -> Digest:
     """A scenario with a quarter of its customers: tries, sends, answers and counter calls in order, and its result."""
     text = load(name)[0]
-    text = replace(text, length_ms=min(text.length_ms, LONGEST_MS),
-                   crowds=tuple(replace(crowd, count=max(crowd.count // 4, 1)) for crowd in text.crowds))
+    text = replace(
+        text,
+        length_ms=min(text.length_ms, LONGEST_MS),
+        crowds=tuple(replace(crowd, count=max(crowd.count // 4, 1)) for crowd in text.crowds),
+    )
     digest = Digest()
     world = World(text, 1)
     world.referee = RecordingReferee(text, digest)
@@ -144,7 +302,9 @@
     digest.add(without_names(result.figures(), words))
     digest.add(without_names(result.line, words))
     for shown in result.beliefs:
-        digest.add((shown.at_ms, shown.gateway, without_names((shown.belief, shown.sign), words), shown.hidden))
+        digest.add(
+            (shown.at_ms, shown.gateway, without_names((shown.belief, shown.sign), words), shown.hidden)
+        )
     return digest
 
 
@@ -207,14 +367,16 @@
 
 def fleet_digest(gateways: int, servers: int, pace: float, work_ms: float, dead: int) -> Digest:
     """Several modules on one clock, before servers of which the last so many die and one joins cold."""
-    listed = [api.Server(number, "ab"[number % 2], "std", 0, api.State.UP, 1.0, 0.0) for number in range(servers)]
+    listed = [
+        api.Server(number, "ab"[number % 2], "std", 0, api.State.UP, 1.0, 0.0) for number in range(servers)
+    ]
     fleet = Fleet(gateways, listed, seed=7, work=lambda draw: draw.expovariate(1 / work_ms))
     digest = Digest()
     fleet.run(4.0, pace)
     fleet.dead.update(range(servers - dead, servers))
     fleet.run(4.0, pace)
     joined = api.Server(servers, "a", "std", 0, api.State.UP, 1.0, fleet.now)
-    fleet.tell([*listed[:servers - dead], joined])
+    fleet.tell([*listed[: servers - dead], joined])
     fleet.run(4.0, lambda gateway: pace * (1 + gateway % 3))
     digest.add(fleet.sends)
     digest.add((fleet.served, fleet.refused, fleet.cancelled))
@@ -234,8 +396,9 @@
         step = draw.randrange(6)
         if step <= 1:
             number = numbers.get(plan, 0) + draw.choice((1, 1, 1, 1, 0, 2))
-            made = book.announce(now, plan, number, now + draw.choice((500.0, 2000.0, 4000.0, 9000.0, math.inf)),
-                                 figures)
+            made = book.announce(
+                now, plan, number, now + draw.choice((500.0, 2000.0, 4000.0, 9000.0, math.inf)), figures
+            )
             if not isinstance(made, Fault):
                 numbers[plan] = made.number
             digest.add((step, isinstance(made, Fault) or made))
@@ -250,8 +413,15 @@
             digest.add((step, isinstance(own, Fault) or own))
         else:
             granted, holds = book.figures(now, plan, customer), book.version(now, plan)
-            digest.add((step, isinstance(granted, Fault) or granted, isinstance(holds, Fault) or holds,
-                        book.next_change(now), book.waiting(now)))
+            digest.add(
+                (
+                    step,
+                    isinstance(granted, Fault) or granted,
+                    isinstance(holds, Fault) or holds,
+                    book.next_change(now),
+                    book.waiting(now),
+                )
+            )
     return digest
 
 
@@ -259,7 +429,9 @@
     """A plan's figures, now and then ones that are refused."""
     rate = draw.choice((0.0, 1.5, 6.0, 25.0, 25.0))
     burst = draw.choice((0.0, 8.0, 30.0, 30.0))
-    return draw.choice((Figures(rate, burst), Figures(rate, burst, 2 * rate, 2 * burst), Figures(rate, burst, 5.0, 9.0)))
+    return draw.choice(
+        (Figures(rate, burst), Figures(rate, burst, 2 * rate, 2 * burst), Figures(rate, burst, 5.0, 9.0))
+    )
 
 
 def carry_digest() -> Digest:
@@ -282,18 +454,31 @@
     digest = Digest()
     for gateways in (1, 3, 6, 7, 40, 200):
         for settings in (LOAD, BUILD, CAPPED):
-            digest.add((noticed_ms(gateways), [beyond_units(plan, 3, gateways, full)
-                                               for plan in settings.plans for full in (False, True)],
-                        stated([(plan, 3) for plan in settings.plans], gateways, 12.0)))
+            digest.add(
+                (
+                    noticed_ms(gateways),
+                    [
+                        beyond_units(plan, 3, gateways, full)
+                        for plan in settings.plans
+                        for full in (False, True)
+                    ],
+                    stated([(plan, 3) for plan in settings.plans], gateways, 12.0),
+                )
+            )
     return digest
 
 
 CASES: dict[str, Callable[[], Digest]] = {
-    **{f"stream-{stream.name}": (lambda stream=stream: stream_digest(stream))  # type: ignore[misc]
-       for stream in STREAMS},
+    **{
+        f"stream-{stream.name}": (lambda stream=stream: stream_digest(stream))  # type: ignore[misc]
+        for stream in STREAMS
+    },
     **{f"scenario-{name}": (lambda name=name: scenario_digest(name)) for name in shipped()},  # type: ignore[misc]
-    **{f"cluster-{name}": (lambda name=name: cluster_digest(name))  # type: ignore[misc]
-       for name in shipped() if load(name)[0].fleet},
+    **{
+        f"cluster-{name}": (lambda name=name: cluster_digest(name))  # type: ignore[misc]
+        for name in shipped()
+        if load(name)[0].fleet
+    },
     "fleet-of-three": lambda: fleet_digest(3, 8, 20.0, 100.0, 2),
     "fleet-of-twenty": lambda: fleet_digest(20, 12, 4.0, 150.0, 3),
     "fleet-pressed": lambda: fleet_digest(4, 4, 25.0, 250.0, 1),
--- a/tests/cluster_digest.py
+++ b/tests/support/cluster_digest.py
@@ -10,13 +10,12 @@
 import json
 from collections.abc import Iterable, Sequence
 from functools import lru_cache
-from pathlib import Path
 from typing import Any
 
 import msgspec
 
-from fleet.errors import FleetError
-from fleet.events import (
+from badgeryoke.cluster.errors import FleetError
+from badgeryoke.cluster.events import (
     Call,
     Done,
     Entries,
@@ -29,21 +28,24 @@
     Store,
     StoreBroke,
 )
-from fleet.messages import COMMAND, Append, Entry, Forward, Piece, PieceTaken, Reply
-from fleet.node import Node
-from fleet.part import Applied, Command
-from fleet.setup import FOUNDING
-from fleet.state import GroupState, decode
-from tests.canonical import Digest
+from badgeryoke.cluster.messages import COMMAND, Append, Entry, Forward, Piece, PieceTaken, Reply
+from badgeryoke.cluster.node import Node
+from badgeryoke.cluster.node_setup import FOUNDING
+from badgeryoke.cluster.state_machine.machine import GroupState, decode
+from badgeryoke.cluster.state_machine.part import Applied, Command
+from tests.support.canonical import Digest
+from tests.support.paths import ROOT
 
-GOLDEN = Path(__file__).parent / "golden" / "digests" / "cluster.json"
+GOLDEN = ROOT / "tests" / "golden" / "digests" / "cluster.json"
 
 
 def check(name: str, digest: Digest) -> None:
     """Compare a stream with what was recorded; one that was never recorded fails."""
     golden: dict[str, list[object]] = json.loads(GOLDEN.read_text())
     assert name in golden, f"no digest is recorded for {name}"
-    assert [digest.count, digest.hexdigest()] == golden[name], f"{name}: the behaviour is another than recorded"
+    assert [digest.count, digest.hexdigest()] == golden[name], (
+        f"{name}: the behaviour is another than recorded"
+    )
 
 
 def command_values(command: Command) -> tuple[str, object]:
@@ -99,10 +101,24 @@
     """A message between members."""
     match message:
         case Append():
-            return (message.group, message.term, message.previous, message.previous_term,
-                    [entry_values(entry) for entry in message.entries], message.commit, message.round)
+            return (
+                message.group,
+                message.term,
+                message.previous,
+                message.previous_term,
+                [entry_values(entry) for entry in message.entries],
+                message.commit,
+                message.round,
+            )
         case Piece():
-            return message.group, message.term, message.index, message.index_term, message.config, message.round
+            return (
+                message.group,
+                message.term,
+                message.index,
+                message.index_term,
+                message.config,
+                message.round,
+            )
         case PieceTaken():
             return message.group, message.term, message.index, message.round
         case Forward():
@@ -118,7 +134,12 @@
         case Send():
             return "send", str(effect.to), message_values(effect.message)
         case Store():
-            return "store", effect.group, effect.seq, [record_values(one, effect.group) for one in effect.records]
+            return (
+                "store",
+                effect.group,
+                effect.seq,
+                [record_values(one, effect.group) for one in effect.records],
+            )
         case Done():
             result = effect.result
             known = isinstance(result, Applied | FleetError)
--- a/tests/event_streams.py
+++ b/tests/support/event_streams.py
@@ -13,12 +13,12 @@
 from dataclasses import dataclass, field, replace
 from enum import Enum, auto
 
-from martenstep import handover
-from martenstep import interface as api
-from martenstep.decide import Gateway
-from martenstep.reserved import CEILING, LOAD, SERVER
-from martenstep.watch.guarded import Guarded
-from tests.canonical import Digest
+from badgeryoke.decisions import interface as api
+from badgeryoke.decisions import state_snapshot
+from badgeryoke.decisions.counter_health.monitored_policy import Guarded
+from badgeryoke.decisions.policy.engine import Gateway
+from badgeryoke.decisions.priority_admission import CEILING, LOAD, SERVER
+from tests.support.canonical import Digest
 
 START_MS = 500_000_000.0
 PHASE_MS = 2500.0  # servers, counter and discovery keep their trouble for so long
@@ -146,7 +146,9 @@
             self._sides = [dict(self._sides[0]), dict(self._sides[0])]
         elif len(self._sides) > 1:  # healed: the greater totals are kept
             first, second = self._sides
-            self._sides = [{name: max(total, second.get(name, 0.0)) for name, total in (second | first).items()}]
+            self._sides = [
+                {name: max(total, second.get(name, 0.0)) for name, total in (second | first).items()}
+            ]
         self.trouble = trouble
 
     def call(self, module: int, action: api.Count, timeout_ms: float) -> api.Total:
@@ -161,8 +163,15 @@
         if trouble is CounterTrouble.UNREACHABLE:
             return api.Total(name=action.name, verdict=api.Verdict.CONNECT_FAILED, rtt_ms=took)
         if trouble is CounterTrouble.BUSY and draw.random() < 0.6:
-            verdict = draw.choice((api.Verdict.FULL, api.Verdict.ERROR, api.Verdict.RESET, api.Verdict.CANCELLED,
-                                   api.Verdict.MOOT))
+            verdict = draw.choice(
+                (
+                    api.Verdict.FULL,
+                    api.Verdict.ERROR,
+                    api.Verdict.RESET,
+                    api.Verdict.CANCELLED,
+                    api.Verdict.MOOT,
+                )
+            )
             return api.Total(name=action.name, verdict=verdict, rtt_ms=took)
         total = side.get(action.name, 0.0) + action.units
         if action.units > 0 and self._elsewhere and draw.random() < 0.5:
@@ -178,7 +187,9 @@
 
     def __init__(self, stream: Stream) -> None:
         self.stream, self.digest = stream, Digest()
-        self.kinds: dict[str, int] = {}  # how often each kind of action came, to see that a stream is not empty
+        self.kinds: dict[
+            str, int
+        ] = {}  # how often each kind of action came, to see that a stream is not empty
         self._draw = draw = random.Random(stream.seed)
         self._now = START_MS
         self._timers: list[Timer] = []
@@ -186,8 +197,10 @@
         self._open: dict[str, OpenRequest] = {}
         self._counter = CounterModel(draw, stream.elsewhere)
         self._settings = stream.settings
-        self._modules = [stream.make(replace(stream.settings, me=number), stream.seed * 100 + number)
-                         for number in range(stream.modules)]
+        self._modules = [
+            stream.make(replace(stream.settings, me=number), stream.seed * 100 + number)
+            for number in range(stream.modules)
+        ]
         self._doors = list(range(stream.modules))  # which module serves a gateway's new requests
         self._servers: dict[int, ServerModel] = {}
         for number in range(1, stream.servers + 1):
@@ -213,11 +226,20 @@
 
     def _add_server(self, number: int, started_ms: float) -> None:
         draw, zones = self._draw, self.stream.zones
-        info = api.Server(id=number, zone=zones[number % len(zones)], kind="std", cell=number % 4, state=api.State.UP,
-                          size=draw.choice((1.0, 1.0, 0.5, 2.0)), started_ms=started_ms)
+        info = api.Server(
+            id=number,
+            zone=zones[number % len(zones)],
+            kind="std",
+            cell=number % 4,
+            state=api.State.UP,
+            size=draw.choice((1.0, 1.0, 0.5, 2.0)),
+            started_ms=started_ms,
+        )
         self._servers[number] = ServerModel(info, self.stream.work_ms * draw.uniform(0.6, 1.6))
 
-    def _tell_members(self, module: int, scope: api.Scope, servers: tuple[api.Server, ...] | None = None) -> None:
+    def _tell_members(
+        self, module: int, scope: api.Scope, servers: tuple[api.Server, ...] | None = None
+    ) -> None:
         listed = tuple(model.info for model in self._servers.values()) if servers is None else servers
         self._handle(module, api.Members(scope=scope, servers=listed))
 
@@ -239,18 +261,27 @@
             model.info = replace(model.info, state=api.State.UP)
         changed = self._servers[number].info
         for module in self._doors:
-            scope = draw.choice((api.Scope.CHANGES, api.Scope.CHANGES, api.Scope.FULL, api.Scope.LOST,
-                                 api.Scope.WARM_COPY))
+            scope = draw.choice(
+                (api.Scope.CHANGES, api.Scope.CHANGES, api.Scope.FULL, api.Scope.LOST, api.Scope.WARM_COPY)
+            )
             if scope is api.Scope.CHANGES:
                 self._tell_members(module, scope, (changed,))
             elif scope is api.Scope.LOST:
                 self._tell_members(module, scope, ())
             else:
-                kept = tuple(one.info for one in self._servers.values() if one.info.state is not api.State.GONE)
+                kept = tuple(
+                    one.info for one in self._servers.values() if one.info.state is not api.State.GONE
+                )
                 self._tell_members(module, scope, kept)
         if len(self._servers) > self.stream.servers + 3:
-            gone = next((key for key, one in self._servers.items() if one.info.state is api.State.GONE and not one.out),
-                        None)
+            gone = next(
+                (
+                    key
+                    for key, one in self._servers.items()
+                    if one.info.state is api.State.GONE and not one.out
+                ),
+                None,
+            )
             if gone is not None:
                 del self._servers[gone]
 
@@ -262,9 +293,14 @@
         common = draw.choice(stream.server_troubles)
         for model in self._servers.values():
             hit = draw.random() < share
-            model.trouble = (common if draw.random() < 0.5 else draw.choice(stream.server_troubles)) if hit else (
-                ServerTrouble.NONE)
-        self._counter.enter(draw.choice(stream.counter_trouble) if draw.random() < 0.6 else CounterTrouble.NONE)
+            model.trouble = (
+                (common if draw.random() < 0.5 else draw.choice(stream.server_troubles))
+                if hit
+                else (ServerTrouble.NONE)
+            )
+        self._counter.enter(
+            draw.choice(stream.counter_trouble) if draw.random() < 0.6 else CounterTrouble.NONE
+        )
         if draw.random() < 0.7:
             self._change_members()
         if stream.other_settings is not None:
@@ -279,7 +315,9 @@
         draw, stream = self._draw, self.stream
         surge = 3.0 if math.sin(self._now / 1700.0) > 0.6 else 1.0
         self._later(draw.expovariate(stream.requests_a_second * surge / 1000.0), lambda: self._arrive(door))
-        customer = min(int(draw.expovariate(3.0 / stream.customers)), stream.customers - 1)  # some ask for much more
+        customer = min(
+            int(draw.expovariate(3.0 / stream.customers)), stream.customers - 1
+        )  # some ask for much more
         plans, classes = self._settings.plans, self._settings.classes
         if draw.random() < 0.01:  # a plan or class that only the other settings know
             plans, classes = stream.settings.plans, stream.settings.classes
@@ -287,11 +325,23 @@
             plans, customer = (api.Plan("unheard of"),), draw.randint(10_000, 20_000)
         cls = draw.choice(classes)
         spread = 1 + (customer + stream.spread) % stream.spread
-        self._ask(door, api.Request(
-            id="", cls=cls.name, plan=plans[customer % len(plans)].name, customer=customer + 1,
-            remaining_ms=draw.choice((cls.deadline_ms, cls.deadline_ms, cls.deadline_ms * draw.random(), 1.0)),
-            units=float(draw.randint(1, 4)), spread=spread, first=customer % max(self._settings.gateways, 1),
-            retry=False, reserved=draw.randint(1, 3) if draw.random() < stream.reserved_share else 0))
+        self._ask(
+            door,
+            api.Request(
+                id="",
+                cls=cls.name,
+                plan=plans[customer % len(plans)].name,
+                customer=customer + 1,
+                remaining_ms=draw.choice(
+                    (cls.deadline_ms, cls.deadline_ms, cls.deadline_ms * draw.random(), 1.0)
+                ),
+                units=float(draw.randint(1, 4)),
+                spread=spread,
+                first=customer % max(self._settings.gateways, 1),
+                retry=False,
+                reserved=draw.randint(1, 3) if draw.random() < stream.reserved_share else 0,
+            ),
+        )
         if self._events % 50 == 0:
             for module in self._doors:
                 self.digest.add((self._now, module, self._modules[module].avoided(self._now)))
@@ -301,14 +351,26 @@
     def _strange_event(self, module: int) -> None:
         """What comes late, twice, or for somebody else."""
         draw = self._draw
-        self._handle(module, draw.choice((
-            api.Due(token=0),
-            api.Left(id="nobody"),
-            api.Started(id="nobody"),
-            api.Total(name=12345, verdict=api.Verdict.OK, rtt_ms=1.0, total=3.0),
-            api.Probed(server=1, verdict=draw.choice(list(api.Verdict)), rtt_ms=2.0, report=(0.5,)),
-            api.Outcome(id="nobody", attempt=0, server=draw.choice((1, 9999)), verdict=api.Verdict.RESET, rtt_ms=5.0,
-                        ended=True))))
+        self._handle(
+            module,
+            draw.choice(
+                (
+                    api.Due(token=0),
+                    api.Left(id="nobody"),
+                    api.Started(id="nobody"),
+                    api.Total(name=12345, verdict=api.Verdict.OK, rtt_ms=1.0, total=3.0),
+                    api.Probed(server=1, verdict=draw.choice(list(api.Verdict)), rtt_ms=2.0, report=(0.5,)),
+                    api.Outcome(
+                        id="nobody",
+                        attempt=0,
+                        server=draw.choice((1, 9999)),
+                        verdict=api.Verdict.RESET,
+                        rtt_ms=5.0,
+                        ended=True,
+                    ),
+                )
+            ),
+        )
 
     def _ask(self, door: int, draft: api.Request) -> None:
         self._requests += 1
@@ -327,9 +389,17 @@
         self._handle(found.module, api.Left(id=rid))
         if found.server is not None and not found.begun:
             self._free(found.server)
-            self._handle(found.module, api.Outcome(
-                id=rid, attempt=found.attempts - 1, server=found.server, verdict=api.Verdict.CANCELLED,
-                rtt_ms=self._now - found.sent_ms, ended=True))
+            self._handle(
+                found.module,
+                api.Outcome(
+                    id=rid,
+                    attempt=found.attempts - 1,
+                    server=found.server,
+                    verdict=api.Verdict.CANCELLED,
+                    rtt_ms=self._now - found.sent_ms,
+                    ended=True,
+                ),
+            )
 
     def _refused(self, rid: str, wait_ms: float) -> None:
         found = self._open.pop(rid, None)
@@ -365,7 +435,9 @@
         if isinstance(action, api.Send):
             self._send(action)
         elif isinstance(action, api.Cancel):
-            self._later(self._draw.choice((0.0, 0.0, 30.0)), lambda: self._cancelled(action.id, action.attempt))
+            self._later(
+                self._draw.choice((0.0, 0.0, 30.0)), lambda: self._cancelled(action.id, action.attempt)
+            )
         elif isinstance(action, api.Refuse):
             self._refused(action.id, action.retry_after_ms)
         elif isinstance(action, api.Fail):
@@ -440,17 +512,30 @@
         draw, server, rtt = self._draw, found.server, self._now - found.sent_ms
         found.server = None
         self._free(server)
-        ended = verdict is api.Verdict.OK or found.begun or (
-            verdict is api.Verdict.ERROR and draw.random() < 0.3) or (
-            verdict is api.Verdict.TIMEOUT and draw.random() < 0.5)
+        ended = (
+            verdict is api.Verdict.OK
+            or found.begun
+            or (verdict is api.Verdict.ERROR and draw.random() < 0.3)
+            or (verdict is api.Verdict.TIMEOUT and draw.random() < 0.5)
+        )
         true_units = 0.0
         if verdict is api.Verdict.OK and draw.random() < 0.6:
             true_units = max(found.request.units + draw.choice((-1.0, 0.0, 1.0, 2.0)), 0.0)
         if ended:
             del self._open[rid]
-        self._handle(found.module, api.Outcome(
-            id=rid, attempt=attempt, server=server, verdict=verdict, rtt_ms=rtt, ended=ended, true_units=true_units,
-            report=(rtt, 1.0) if draw.random() < 0.5 else ()))
+        self._handle(
+            found.module,
+            api.Outcome(
+                id=rid,
+                attempt=attempt,
+                server=server,
+                verdict=verdict,
+                rtt_ms=rtt,
+                ended=ended,
+                true_units=true_units,
+                report=(rtt, 1.0) if draw.random() < 0.5 else (),
+            ),
+        )
 
     # Handover ---------------------------------------------------------------------------------------------
 
@@ -465,15 +550,15 @@
         self._doors[0] = number
         self._tell_members(number, api.Scope.WARM_COPY)
         names = {key: f"host-{key}" for key in self._servers if key % 7}
-        handed = handover.give(old, names)
-        line, _, body = handover.encode(handed).partition(b"\n")
-        checksum, length = handover.read_head(line)
+        handed = state_snapshot.give(old, names)
+        line, _, body = state_snapshot.encode(handed).partition(b"\n")
+        checksum, length = state_snapshot.read_head(line)
         if length != len(body):
             raise ValueError("the head tells another length")
         numbers = {name: key for key, name in names.items() if key % 5}
-        actions = handover.take(new, self._now, handover.decode(body, checksum), numbers)
+        actions = state_snapshot.take(new, self._now, state_snapshot.decode(body, checksum), numbers)
         self.digest.add((self._now, number, [told(action) for action in actions]))
         self.kinds["handover"] = self.kinds.get("handover", 0) + len(actions)
-        handover.given(old, handed)
+        state_snapshot.given(old, handed)
         for action in actions:
             self._act(number, action)
