--- a/badgeryoke/__main__.py
+++ b/badgeryoke/__main__.py
@@ -5,7 +5,7 @@
 import sys
 from pathlib import Path
 
-from badgeryoke.gateway.application import App
+from badgeryoke.gateway.application import GatewayApplication
 from badgeryoke.gateway.config.platform_file import ConfigError, read_config
 from badgeryoke.gateway.log_format import set_up
 
@@ -14,7 +14,7 @@
     root = Path.cwd()
     config = read_config(os.environ, root)
     set_up(config.operators.log.format, config.operators.log.level)
-    await App(config, reread=lambda: read_config(os.environ, root, again=True)).run()
+    await GatewayApplication(config, reread=lambda: read_config(os.environ, root, again=True)).run()
 
 
 if __name__ == "__main__":
--- a/badgeryoke/cluster/bootstrap.py
+++ b/badgeryoke/cluster/bootstrap.py
@@ -22,21 +22,28 @@
 
 import msgspec
 
-from badgeryoke.cluster.errors import AnotherFleet, BadFrame, FleetError
+from badgeryoke.cluster.errors import BadFrame, ClusterError, ClusterMismatch
 from badgeryoke.cluster.events import (
     HardState,
-    Received,
-    Saved,
-    Say,
-    Send,
+    LogEvent,
+    MessageReceived,
+    PersistedGroup,
+    PersistRecords,
+    RecordsPersisted,
+    SendMessage,
     Snapshot,
-    Store,
-    StoreBroke,
-    Stored,
+    StorageFailure,
     Tick,
 )
-from badgeryoke.cluster.messages import Config, Found, IAm, Id, WhoAreYou, name_of
-from badgeryoke.cluster.node_setup import FOUNDING, Setup
+from badgeryoke.cluster.messages import (
+    Announce,
+    ClusterFounded,
+    GroupConfiguration,
+    IdentityQuery,
+    MemberId,
+    member_name,
+)
+from badgeryoke.cluster.node_setup import FOUNDING, NodeSetup
 
 MOST_MEMBERS = 1024
 MOST_BYTES = 256 * 1024  # of a record
@@ -48,47 +55,47 @@
 ASK_OTHERS = 3  # beside the lowest name, where this one is not it
 
 
-class Record(msgspec.Struct, frozen=True, array_like=True):
+class BootstrapRecord(msgspec.Struct, frozen=True, array_like=True):
     """A fleet's founding, the same on each member for good."""
 
     fleet: str
     founding: str  # drawn by its maker; tells two fleets of one name apart
-    by: Id
-    members: tuple[tuple[Id, str], ...]  # founders and their halls, by name
+    by: MemberId
+    members: tuple[tuple[MemberId, str], ...]  # founders and their halls, by name
     groups: int  # beside the fleet's own
     copies: int
 
 
-def read(body: bytes) -> Record | None:
+def read(body: bytes) -> BootstrapRecord | None:
     """A record from its bytes; None where they are none."""
     if len(body) > MOST_BYTES:
         return None
     try:
-        record = msgspec.msgpack.decode(body, type=Record)
+        record = msgspec.msgpack.decode(body, type=BootstrapRecord)
     except (msgspec.MsgspecError, ValueError):  # also: not UTF-8
         return None
-    names = {name_of(who) for who, _ in record.members}
+    names = {member_name(who) for who, _ in record.members}
     if not 1 <= len(record.members) <= MOST_MEMBERS or len(names) != len(record.members):
         return None
     return record if record.groups >= 1 and record.copies >= 1 else None
 
 
-class Founding:
+class Bootstrap:
     """One member's way to the record.  `due`: when the next Tick has to come; infinite once the record is
     stored."""
 
-    def __init__(self, setup: Setup, saved: Saved, draw: Random, now: float) -> None:
-        self.record: Record | None = None  # once it is stored
-        self.error: FleetError | None = None  # why there is none, where waiting does not help
+    def __init__(self, setup: NodeSetup, saved: PersistedGroup, draw: Random, now: float) -> None:
+        self.record: BootstrapRecord | None = None  # once it is stored
+        self.error: ClusterError | None = None  # why there is none, where waiting does not help
         self._setup, self._draw, self._saved = setup, draw, saved
         self._halls = {one.name: one.hall for one in setup.members}
         self._others = sorted(name for name in self._halls if name != setup.me)
         self._lowest = min([*self._others, setup.me])
-        self._none: dict[str, tuple[float, Id]] = {}  # who answered "none", when and as whom
+        self._none: dict[str, tuple[float, MemberId]] = {}  # who answered "none", when and as whom
         self._lock, self._locks = saved.vote, saved.term
-        self._past: dict[Id, None] = {}  # askers under the lowest name that are over
-        self._asked: dict[int, Id] = {}  # answers that wait for the lock to be stored
-        self._storing: tuple[int, Record] | None = None
+        self._past: dict[MemberId, None] = {}  # askers under the lowest name that are over
+        self._asked: dict[int, MemberId] = {}  # answers that wait for the lock to be stored
+        self._storing: tuple[int, BootstrapRecord] | None = None
         self._seq, self._wait = 0, FIRST_ASK_MS
         self.due = now + draw.random() * FIRST_ASK_MS
         if saved.snapshot is not None:
@@ -99,14 +106,16 @@
         """Whether this member, as it is now, is one of those that the record names."""
         return self.record is not None and self._named(self.record)
 
-    def handle(self, now: float, event: Tick | Received | Stored | StoreBroke) -> list[Send | Store | Say]:
+    def handle(
+        self, now: float, event: Tick | MessageReceived | RecordsPersisted | StorageFailure
+    ) -> list[SendMessage | PersistRecords | LogEvent]:
         """Take an event in; only WhoAreYou, IAm, Found and what is stored under FOUNDING concern it."""
-        out: list[Send | Store | Say] = []
-        if isinstance(event, Received):
+        out: list[SendMessage | PersistRecords | LogEvent] = []
+        if isinstance(event, MessageReceived):
             self._received(now, event.sender, event.message, out)
-        elif isinstance(event, Stored) and event.group == FOUNDING:
+        elif isinstance(event, RecordsPersisted) and event.group == FOUNDING:
             self._stored(event.seq, out)
-        elif isinstance(event, StoreBroke):
+        elif isinstance(event, StorageFailure):
             self.error, self.due = event.error, math.inf
         if now >= self.due and self.record is None:
             self._round(now, out)
@@ -117,18 +126,20 @@
         if found is None:
             self.error = BadFrame(self._setup.me, "the stored founding record cannot be read")
         elif found.fleet != self._setup.fleet:
-            self.error = AnotherFleet(found.fleet, f"the folder belongs to it, not to {self._setup.fleet!r}")
+            self.error = ClusterMismatch(
+                found.fleet, f"the folder belongs to it, not to {self._setup.fleet!r}"
+            )
         else:
             self.record = found
         self.due = math.inf
 
-    def _named(self, record: Record) -> bool:
+    def _named(self, record: BootstrapRecord) -> bool:
         return any(who == self._setup.id for who, _ in record.members)
 
     # Asking
     # ----------------------------------------------------------------------------------------------------------
 
-    def _round(self, now: float, out: list[Send | Store | Say]) -> None:
+    def _round(self, now: float, out: list[SendMessage | PersistRecords | LogEvent]) -> None:
         self._wait = min(self._wait * 1.5, LAST_ASK_MS)
         self.due = now + self._wait * (0.75 + 0.5 * self._draw.random())
         if self.error is not None or self._storing is not None:
@@ -141,14 +152,14 @@
             others = [name for name in self._others if name != self._lowest]
             asked = [self._lowest, *self._draw.sample(others, min(ASK_OTHERS, len(others)))]
         hall = self._halls.get(self._setup.me, "")
-        out += [Send(name + "/", WhoAreYou(hall)) for name in asked]
+        out += [SendMessage(name + "/", IdentityQuery(hall)) for name in asked]
 
-    def _make(self, now: float, out: list[Send | Store | Say]) -> bool:
+    def _make(self, now: float, out: list[SendMessage | PersistRecords | LogEvent]) -> bool:
         """The record, where all the others have said of late that they have none."""
         if any(now - self._none.get(name, (-math.inf, ""))[0] > FRESH_MS for name in self._others):
             return False
         ids = {self._setup.me: self._setup.id, **{name: self._none[name][1] for name in self._others}}
-        record = Record(
+        record = BootstrapRecord(
             self._setup.fleet,
             f"{self._draw.getrandbits(64):016x}",
             self._setup.id,
@@ -159,23 +170,25 @@
         self._take(record, out)
         return True
 
-    def _take(self, record: Record, out: list[Send | Store | Say]) -> None:
+    def _take(self, record: BootstrapRecord, out: list[SendMessage | PersistRecords | LogEvent]) -> None:
         """Stored first; it counts when that has come back."""
         self._seq += 1
         self._storing = self._seq, record
-        config = Config(tuple(who for who, _ in record.members))
-        out.append(Store(FOUNDING, self._seq, (Snapshot(1, 1, config, msgspec.msgpack.encode(record)),)))
+        config = GroupConfiguration(tuple(who for who, _ in record.members))
+        out.append(
+            PersistRecords(FOUNDING, self._seq, (Snapshot(1, 1, config, msgspec.msgpack.encode(record)),))
+        )
 
-    def _stored(self, seq: int, out: list[Send | Store | Say]) -> None:
+    def _stored(self, seq: int, out: list[SendMessage | PersistRecords | LogEvent]) -> None:
         asker = self._asked.pop(seq, None)
         if asker is not None and asker == self._lock and self._storing is None and self.record is None:
-            out.append(Send(asker, IAm(self._halls.get(self._setup.me, ""), b"")))
+            out.append(SendMessage(asker, Announce(self._halls.get(self._setup.me, ""), b"")))
         if self._storing is None or self._storing[0] != seq:
             return
         self.record, self._storing, self.due = self._storing[1], None, math.inf
         self._none.clear()
         out.append(
-            Say(
+            LogEvent(
                 "info",
                 "fleet_founded" if self.record.by == self._setup.id else "fleet_joined",
                 {"founding": self.record.founding, "founder": self.founder},
@@ -183,47 +196,61 @@
         )
         if self.record.by == self._setup.id:  # told once; whom it does not reach asks
             body = msgspec.msgpack.encode(self.record)
-            out += [Send(who, Found(body)) for who, _ in self.record.members if who != self._setup.id]
+            out += [
+                SendMessage(who, ClusterFounded(body))
+                for who, _ in self.record.members
+                if who != self._setup.id
+            ]
 
     # Answering
     # -------------------------------------------------------------------------------------------------------
 
-    def _received(self, now: float, sender: Id, message: object, out: list[Send | Store | Say]) -> None:
-        name = name_of(sender)
+    def _received(
+        self,
+        now: float,
+        sender: MemberId,
+        message: object,
+        out: list[SendMessage | PersistRecords | LogEvent],
+    ) -> None:
+        name = member_name(sender)
         if name not in self._halls or name == self._setup.me:
             return
-        if isinstance(message, WhoAreYou):
+        if isinstance(message, IdentityQuery):
             self._answer(sender, out)
-        elif isinstance(message, (IAm, Found)):
-            if isinstance(message, IAm) and not message.founding:
+        elif isinstance(message, (Announce, ClusterFounded)):
+            if isinstance(message, Announce) and not message.founding:
                 if self.record is None and self._storing is None:
                     self._none[name] = now, sender
                 return
             self._heard(sender, message.founding, out)
 
-    def _answer(self, sender: Id, out: list[Send | Store | Say]) -> None:
+    def _answer(self, sender: MemberId, out: list[SendMessage | PersistRecords | LogEvent]) -> None:
         hall = self._halls.get(self._setup.me, "")
         if self.record is not None:
-            out.append(Send(sender, IAm(hall, msgspec.msgpack.encode(self.record))))
+            out.append(SendMessage(sender, Announce(hall, msgspec.msgpack.encode(self.record))))
         elif self._storing is not None or self.error is not None:
             return  # neither "none" nor a record that may not survive: it asks again
-        elif name_of(sender) != self._lowest or (sender == self._lock and sender not in self._asked.values()):
-            out.append(Send(sender, IAm(hall, b"")))
+        elif member_name(sender) != self._lowest or (
+            sender == self._lock and sender not in self._asked.values()
+        ):
+            out.append(SendMessage(sender, Announce(hall, b"")))
         elif sender != self._lock and sender not in self._past and len(self._past) < MOST_MEMBERS:
             if self._lock:
                 self._past[self._lock] = None
             self._seq += 1
             self._lock, self._locks, self._asked = sender, self._locks + 1, {self._seq: sender}
-            out.append(Store(FOUNDING, self._seq, (HardState(self._locks, sender),)))
+            out.append(PersistRecords(FOUNDING, self._seq, (HardState(self._locks, sender),)))
 
-    def _heard(self, sender: Id, body: bytes, out: list[Send | Store | Say]) -> None:
+    def _heard(
+        self, sender: MemberId, body: bytes, out: list[SendMessage | PersistRecords | LogEvent]
+    ) -> None:
         """A record, from its maker or from anybody who has it."""
         record = read(body)
         if record is None:
             out.append(_say(BadFrame(sender, "a founding record that cannot be read")))
         elif record.fleet != self._setup.fleet or (self.record or record).founding != record.founding:
             out.append(
-                _say(AnotherFleet(sender, f"it belongs to {record.fleet!r}, founding {record.founding}"))
+                _say(ClusterMismatch(sender, f"it belongs to {record.fleet!r}, founding {record.founding}"))
             )
         elif self.record is None and self._storing is None and self.error is None:
             if self._named(record) and self._lock and self._lock not in (sender, record.by):
@@ -232,5 +259,5 @@
             self._take(record, out)
 
 
-def _say(error: FleetError) -> Say:
-    return Say("error", "fleet_founding", {"error": error.code, "whom": error.whom, "what": error.what})
+def _say(error: ClusterError) -> LogEvent:
+    return LogEvent("error", "fleet_founding", {"error": error.code, "whom": error.whom, "what": error.what})
--- a/badgeryoke/cluster/connection_limits.py
+++ b/badgeryoke/cluster/connection_limits.py
@@ -32,11 +32,11 @@
 
 import msgspec
 
-from badgeryoke.cluster.errors import BadCall, FleetError, NotThere, TakenId, WrongState
+from badgeryoke.cluster.errors import ClusterError, DuplicateId, InvalidCall, NotFound, WrongState
 from badgeryoke.cluster.invariants import Invariants, Rule
-from badgeryoke.cluster.leases.lease_pool import EDGE, Divided, Grant
-from badgeryoke.cluster.messages import Id, name_of
-from badgeryoke.cluster.state_machine.part import Applied, Command, View
+from badgeryoke.cluster.leases.lease_pool import EDGE, LeaseGrant, LeasePool
+from badgeryoke.cluster.messages import MemberId, member_name
+from badgeryoke.cluster.state_machine.part import ApplyResult, Command, LeaderView
 from badgeryoke.cluster.timings import Timings
 
 BUCKETS = 16
@@ -63,20 +63,20 @@
     return f"s:{crc32(server.encode()) % BUCKETS:x}"
 
 
-def process(who: Id, boot: str, begun: str) -> Id:
+def process(who: MemberId, boot: str, begun: str) -> MemberId:
     """A holder: one process of a member.  `boot`: of its machine (kernel's boot id), empty where it is not
     known."""
     return f"{who}#{boot}.{begun}"
 
 
-def machine(holder: Id) -> tuple[str, str] | None:
+def machine(holder: MemberId) -> tuple[str, str] | None:
     """The member's name and its machine's boot, which two processes must share for one to vouch for the
     other's end."""
     boot = holder.partition("#")[2].partition(".")[0]
-    return (name_of(holder), boot) if boot else None
+    return (member_name(holder), boot) if boot else None
 
 
-class Limit(Command, frozen=True, tag="Limit"):
+class SetConnectionLimit(Command, frozen=True, tag="Limit"):
     """A server's limit, from the operators' file or from discovery.  `idle_ms`: so long after a
     connection's last use the server has closed it for sure, the longest request included."""
 
@@ -97,7 +97,7 @@
         return ""
 
 
-class Unlimit(Command, frozen=True, tag="Unlimit"):
+class RemoveConnectionLimit(Command, frozen=True, tag="Unlimit"):
     """The server is no more: nothing is granted, and it is forgotten when the last part has come back."""
 
     server: str
@@ -106,7 +106,7 @@
         return bucket(self.server)
 
 
-class Ask(msgspec.Struct, frozen=True, array_like=True):
+class ConnectionLeaseRequest(msgspec.Struct, frozen=True, array_like=True):
     """For one server: the lease held (0: none), what is kept of it from now on, and what would be liked."""
 
     server: str
@@ -115,7 +115,7 @@
     wish: int
 
 
-class ConnLeases(Command, frozen=True, tag="ConnLeases"):
+class RequestConnectionLeases(Command, frozen=True, tag="ConnLeases"):
     """Renew, shrink, grow or give back, for many servers of a bucket at once.
 
     Gives {"parts": [[server, number, part, aim, spare], ...], "old": [[holder, server, number], ...]}: above
@@ -123,9 +123,9 @@
     machine.
     """
 
-    holder: Id
+    holder: MemberId
     bucket: str
-    asks: tuple[Ask, ...]
+    asks: tuple[ConnectionLeaseRequest, ...]
     fresh: bool = False
 
     def key(self) -> str:
@@ -144,14 +144,14 @@
         return ""
 
 
-class ConnEnd(Command, frozen=True, tag="ConnEnd"):
+class ReleaseConnectionLeases(Command, frozen=True, tag="ConnEnd"):
     """Leases that are over: by the leader, "idle", or by a later process of the same machine, "reset"."""
 
-    holder: Id
+    holder: MemberId
     bucket: str
     ends: tuple[tuple[str, int], ...]  # server, number
     proof: str
-    by: Id = ""
+    by: MemberId = ""
 
     def key(self) -> str:
         return self.bucket
@@ -166,7 +166,12 @@
         return ""
 
 
-COMMANDS: tuple[type[Command], ...] = (Limit, Unlimit, ConnLeases, ConnEnd)
+COMMANDS: tuple[type[Command], ...] = (
+    SetConnectionLimit,
+    RemoveConnectionLimit,
+    RequestConnectionLeases,
+    ReleaseConnectionLeases,
+)
 
 
 @dataclass(slots=True)
@@ -175,11 +180,11 @@
     lowered one."""
 
     idle_ms: float
-    parts: Divided
+    parts: LeasePool
     gone: bool = False
 
 
-class Connections:
+class ConnectionLimits:
     """The part of a group's state that holds its servers' limits and who holds how much of each."""
 
     def __init__(self, rules: Invariants, timings: Timings) -> None:
@@ -187,44 +192,46 @@
         self.servers: dict[str, _Server] = {}
         self._last = 0  # number of the last lease: a server that comes back does not begin at 1 again
 
-    def apply(self, at_ms: float, command: Any) -> Applied:
+    def apply(self, at_ms: float, command: Any) -> ApplyResult:
         """See badgeryoke.cluster.state_machine.part."""
         if said := command.fault():
-            return Applied(error=BadCall(command.key(), said))
-        if isinstance(command, Limit):
+            return ApplyResult(error=InvalidCall(command.key(), said))
+        if isinstance(command, SetConnectionLimit):
             return self._limit(command)
-        if isinstance(command, Unlimit):
+        if isinstance(command, RemoveConnectionLimit):
             return self._unlimit(command)
-        if isinstance(command, ConnLeases):
+        if isinstance(command, RequestConnectionLeases):
             return self._leases(command)
-        if isinstance(command, ConnEnd):
+        if isinstance(command, ReleaseConnectionLeases):
             return self._end(command)
-        return Applied(error=BadCall("connections", f"unknown command {command.command_name()}"))
+        return ApplyResult(error=InvalidCall("connections", f"unknown command {command.command_name()}"))
 
-    def _limit(self, command: Limit) -> Applied:
+    def _limit(self, command: SetConnectionLimit) -> ApplyResult:
         found = self.servers.get(command.server)
         if found is None:
             if len(self.servers) >= MOST_SERVERS:
-                return Applied(error=BadCall(command.server, f"{MOST_SERVERS} servers have a limit already"))
-            found = self.servers[command.server] = _Server(command.idle_ms, Divided(0.0, step=1.0))
+                return ApplyResult(
+                    error=InvalidCall(command.server, f"{MOST_SERVERS} servers have a limit already")
+                )
+            found = self.servers[command.server] = _Server(command.idle_ms, LeasePool(0.0, step=1.0))
         found.parts.resize(float(command.most), 0.0)
         found.idle_ms, found.gone = command.idle_ms, False
-        return Applied({"granted": int(found.parts.granted())})
+        return ApplyResult({"granted": int(found.parts.granted())})
 
-    def _unlimit(self, command: Unlimit) -> Applied:
+    def _unlimit(self, command: RemoveConnectionLimit) -> ApplyResult:
         found = self.servers.get(command.server)
         if found is None:
-            return Applied(error=NotThere(command.server, "no limit of that server is known"))
+            return ApplyResult(error=NotFound(command.server, "no limit of that server is known"))
         found.parts.resize(0.0, 0.0)
         found.gone = True
         self._tidy(command.server)
-        return Applied({"granted": int(found.parts.granted())})
+        return ApplyResult({"granted": int(found.parts.granted())})
 
     def _tidy(self, server: str) -> None:
         if self.servers[server].gone and not self.servers[server].parts.held:
             del self.servers[server]
 
-    def _leases(self, command: ConnLeases) -> Applied:
+    def _leases(self, command: RequestConnectionLeases) -> ApplyResult:
         parts = [self._ask(command.holder, ask) for ask in command.asks]
         mine = machine(command.holder) if command.fresh else None
         old = (
@@ -238,9 +245,9 @@
                 if who != command.holder and machine(who) == mine
             ]
         )
-        return Applied({"parts": parts, "old": old})
+        return ApplyResult({"parts": parts, "old": old})
 
-    def _ask(self, who: Id, ask: Ask) -> list[Any]:
+    def _ask(self, who: MemberId, ask: ConnectionLeaseRequest) -> list[Any]:
         found = self.servers.get(ask.server)
         if found is None:
             return [ask.server, UNKNOWN, 0, 0, 0]
@@ -248,7 +255,7 @@
         before, limit = parts.granted(), parts.aim
         parts.last = self._last
         given = parts.ask(who, ask.number, ask.keep, ask.wish, 0.0, self._rules)
-        if not isinstance(given, Grant):  # it names a lease that is over, or keeps more than it has
+        if not isinstance(given, LeaseGrant):  # it names a lease that is over, or keeps more than it has
             return [ask.server, OVER, 0, 0, 0]
         held = parts.held.get(who)
         if held is None:
@@ -281,13 +288,13 @@
         )
         return [ask.server, held.number, int(held.part), aim, max(int(limit - granted), 0)]
 
-    def _end(self, command: ConnEnd) -> Applied:
+    def _end(self, command: ReleaseConnectionLeases) -> ApplyResult:
         ended = 0
         for server, number in command.ends:
             if server in self.servers and self.servers[server].parts.end(command.holder, number):
                 ended += 1
                 self._tidy(server)
-        return Applied({"ended": ended})
+        return ApplyResult({"ended": ended})
 
     def lease_ms(self) -> float:
         """A holder's lease by its own clock."""
@@ -300,10 +307,10 @@
         drift = self._timings.clock_drift
         return (self.lease_ms() + idle_ms) * (1.0 + drift) / (1.0 - drift) + CLOSING_MS
 
-    def work(self, view: View) -> list[Command]:
+    def work(self, view: LeaderView) -> list[Command]:
         """End the leases of holders that are lost."""
         self.seen(view.now)
-        ends: dict[tuple[Id, str], list[tuple[str, int]]] = {}
+        ends: dict[tuple[MemberId, str], list[tuple[str, int]]] = {}
         for server, one in self.servers.items():
             for who, number in one.parts.over(view.now, self.patience(one.idle_ms), view.lead_since):
                 ends.setdefault((who, bucket(server)), []).append((server, number))
@@ -311,7 +318,7 @@
         for (who, where), found in list(ends.items())[:MOST_ENDS]:
             mark = crc32(repr(found).encode())
             made.append(
-                ConnEnd(
+                ReleaseConnectionLeases(
                     id=f"conn-end/{where}/{who}/{mark:08x}",
                     holder=who,
                     bucket=where,
@@ -348,7 +355,7 @@
         """See badgeryoke.cluster.state_machine.part."""
         self._last = raw[0]
         self.servers = {
-            server: _Server(idle_ms, Divided.load(parts), gone) for server, idle_ms, gone, parts in raw[1]
+            server: _Server(idle_ms, LeasePool.load(parts), gone) for server, idle_ms, gone, parts in raw[1]
         }
 
 
@@ -382,12 +389,12 @@
 
 
 @dataclass(slots=True)
-class Keeper:
+class ConnectionLeaseHolder:
     """A gateway's side.  `alone`: no other process of this member runs (this one holds the folder's lock);
     only then it vouches for the end of those before it.  `grow`: times the need, while others of a roll
     are away."""
 
-    me: Id  # of `process`
+    me: MemberId  # of `process`
     timings: Timings
     rules: Invariants
     begun: float  # `now` at the process's start
@@ -396,7 +403,7 @@
     leaving: bool = False
     pools: dict[str, _Pool] = field(default_factory=dict)
     _out: dict[str, _Out] = field(default_factory=dict)
-    _old: dict[str, list[tuple[Id, str, int]]] = field(default_factory=dict)
+    _old: dict[str, list[tuple[MemberId, str, int]]] = field(default_factory=dict)
     _asked_in: set[str] = field(default_factory=set)
     unknown: dict[str, None] = field(
         default_factory=dict
@@ -505,7 +512,9 @@
             found = self._old[where]
             who = found[0][0]
             ends = tuple((server, number) for other, server, number in found if other == who)
-            return ConnEnd(id=self._id(), holder=who, bucket=where, ends=ends, proof="reset", by=self.me)
+            return ReleaseConnectionLeases(
+                id=self._id(), holder=who, bucket=where, ends=ends, proof="reset", by=self.me
+            )
         wishes = {server: self._wish(self.pools[server]) for server in servers}
         if not any(self._due(now, self.pools[server], wish) for server, wish in wishes.items()):
             return None
@@ -518,33 +527,39 @@
             pool.cap = min(max(pool.open, min(self._cap(now, pool), wishes[server])), pool.part)
             pool.asked = now
             pool.peak, pool.now_peak = pool.now_peak, pool.need
-            asks.append(Ask(server, pool.number, pool.cap, wishes[server]))
+            asks.append(ConnectionLeaseRequest(server, pool.number, pool.cap, wishes[server]))
         fresh = where not in self._asked_in
-        return ConnLeases(id=self._id(), holder=self.me, bucket=where, asks=tuple(asks), fresh=fresh)
+        return RequestConnectionLeases(
+            id=self._id(), holder=self.me, bucket=where, asks=tuple(asks), fresh=fresh
+        )
 
     def _id(self) -> str:
         self._count += 1
         return f"conn/{self.me}/{self._count}"
 
-    def answered(self, now: float, command: Command, result: Applied | FleetError) -> None:
+    def answered(self, now: float, command: Command, result: ApplyResult | ClusterError) -> None:
         """See fleet.node.Holder."""
         where = command.key()
         out = self._out.get(where)
         if out is None or out.command.id != command.id:
             return
-        error = result if isinstance(result, FleetError) else result.error
-        if error is not None and not isinstance(error, BadCall | TakenId | WrongState):
+        error = result if isinstance(result, ClusterError) else result.error
+        if error is not None and not isinstance(error, InvalidCall | DuplicateId | WrongState):
             # Whether it was taken is not known, or not said: the same again, with its id, until it is.
             out.under_way, out.again = False, now + min(SHORT_MS * 2**out.tries, self.timings.lease_ms)
             out.tries = min(out.tries + 1, 8)
             return
         del self._out[where]
-        if isinstance(command, ConnEnd):
+        if isinstance(command, ReleaseConnectionLeases):
             left = [one for one in self._old.pop(where, []) if one[0] != command.holder]
             if left:
                 self._old[where] = left
             return
-        if error is not None or not isinstance(command, ConnLeases) or not isinstance(result, Applied):
+        if (
+            error is not None
+            or not isinstance(command, RequestConnectionLeases)
+            or not isinstance(result, ApplyResult)
+        ):
             return
         self._asked_in.add(where)
         if result.value["old"]:
--- a/badgeryoke/cluster/errors.py
+++ b/badgeryoke/cluster/errors.py
@@ -11,7 +11,7 @@
 import msgspec
 
 
-class FleetError(msgspec.Struct, frozen=True, tag_field="error"):
+class ClusterError(msgspec.Struct, frozen=True, tag_field="error"):
     """What happened, and to whom (a group, a member, a contract, a key)."""
 
     whom: str
@@ -25,14 +25,14 @@
         return f"{self.code}: {self.whom}: {self.what}; {self.do}"
 
 
-class BadCall(FleetError, frozen=True, tag="bad-call"):
+class InvalidCall(ClusterError, frozen=True, tag="bad-call"):
     """A call that names an unknown key, or a value out of its bounds."""
 
     code = "bad-call"
     do = "Mend the key that is named and call again."
 
 
-class NoLeader(FleetError, frozen=True, tag="no-leader"):
+class NoLeader(ClusterError, frozen=True, tag="no-leader"):
     """No leader of the group is known; nothing was taken."""
 
     code = "no-leader"
@@ -40,7 +40,7 @@
     retry = True
 
 
-class UnknownOutcome(FleetError, frozen=True, tag="unknown-outcome"):
+class UnknownOutcome(ClusterError, frozen=True, tag="unknown-outcome"):
     """The call went out and no answer came: it may have been taken, or may yet be."""
 
     code = "unknown-outcome"
@@ -48,7 +48,7 @@
     retry = True
 
 
-class Crowded(FleetError, frozen=True, tag="crowded"):
+class Overloaded(ClusterError, frozen=True, tag="crowded"):
     """A bound on calls, entries or state is reached; nothing was taken."""
 
     code = "crowded"
@@ -56,7 +56,7 @@
     retry = True
 
 
-class MajorityLost(FleetError, frozen=True, tag="majority-lost"):
+class MajorityLost(ClusterError, frozen=True, tag="majority-lost"):
     """Too few copies of a group are left to acknowledge anything."""
 
     code = "majority-lost"
@@ -66,21 +66,21 @@
     )
 
 
-class NewIncarnation(FleetError, frozen=True, tag="new-incarnation"):
+class NewIncarnation(ClusterError, frozen=True, tag="new-incarnation"):
     """A member came back without its store, or with a damaged one: it votes and acknowledges nothing yet."""
 
     code = "new-incarnation"
     do = "Nothing: it is taken in as a newcomer and counts once it has caught up. See to its disk."
 
 
-class StaleIncarnation(FleetError, frozen=True, tag="stale-incarnation"):
+class StaleIncarnation(ClusterError, frozen=True, tag="stale-incarnation"):
     """A message from, or to, a member as it was before it lost its store."""
 
     code = "stale-incarnation"
     do = "See that no two processes run under one name."
 
 
-class AnotherFleet(FleetError, frozen=True, tag="another-fleet"):
+class ClusterMismatch(ClusterError, frozen=True, tag="another-fleet"):
     """A peer that belongs to a fleet of another name or another founding."""
 
     code = "another-fleet"
@@ -89,28 +89,28 @@
     )
 
 
-class BadFrame(FleetError, frozen=True, tag="bad-frame"):
+class BadFrame(ClusterError, frozen=True, tag="bad-frame"):
     """A frame that cannot be read: unknown, too long, or of another version.  The link ends."""
 
     code = "bad-frame"
     do = "See that both run versions that know each other; otherwise look at what else calls that address."
 
 
-class StoreFailed(FleetError, frozen=True, tag="store-failed"):
+class StorageFailed(ClusterError, frozen=True, tag="store-failed"):
     """The store cannot be written: this member promises nothing more; requests go on."""
 
     code = "store-failed"
     do = "Free the disk or replace it, then start the gateway again."
 
 
-class StoreDamaged(FleetError, frozen=True, tag="store-damaged"):
+class StorageDamaged(ClusterError, frozen=True, tag="store-damaged"):
     """The store does not read as it was written: the member comes back as a newcomer."""
 
     code = "store-damaged"
     do = "See to the disk; the damaged file is kept beside the new one."
 
 
-class NoRoom(FleetError, frozen=True, tag="no-room"):
+class InsufficientCapacity(ClusterError, frozen=True, tag="no-room"):
     """What is asked for does not fit in what the fleet can carry."""
 
     code = "no-room"
@@ -119,76 +119,76 @@
     fits_from_ms: float = 0.0  # Unix ms; 0: never within the bounds
 
 
-class NotThere(FleetError, frozen=True, tag="not-there"):
+class NotFound(ClusterError, frozen=True, tag="not-there"):
     """No contract, lease, roll or member of that name is known."""
 
     code = "not-there"
     do = "Read the list of what there is, and call again with a name from it."
 
 
-class WrongState(FleetError, frozen=True, tag="wrong-state"):
+class WrongState(ClusterError, frozen=True, tag="wrong-state"):
     """It stands where this step is not possible."""
 
     code = "wrong-state"
     do = "Read its state first; the operators' page says which steps each state allows."
 
 
-class TakenId(FleetError, frozen=True, tag="taken-id"):
+class DuplicateId(ClusterError, frozen=True, tag="taken-id"):
     """The id was used for another call."""
 
     code = "taken-id"
     do = "Call with an id of its own."
 
 
-class LeaseOver(FleetError, frozen=True, tag="lease-over"):
+class LeaseExpired(ClusterError, frozen=True, tag="lease-over"):
     """A lease that has ended, or moved on meanwhile: nothing is held under it."""
 
     code = "lease-over"
     do = "Nothing: the holder asks anew. If it happens often, look for slow links or a frozen process."
 
 
-class InvariantBroken(FleetError, frozen=True, tag="invariant-broken"):
+class InvariantBroken(ClusterError, frozen=True, tag="invariant-broken"):
     """A rule of the code itself does not hold: the part concerned has stopped promising."""
 
     code = "invariant-broken"
     do = "Keep the log and the store's folder, and start this gateway again; report it with both."
 
 
-ALL: tuple[type[FleetError], ...] = (
-    BadCall,
+ALL: tuple[type[ClusterError], ...] = (
+    InvalidCall,
     NoLeader,
     UnknownOutcome,
-    Crowded,
+    Overloaded,
     MajorityLost,
     NewIncarnation,
     StaleIncarnation,
-    AnotherFleet,
+    ClusterMismatch,
     BadFrame,
-    StoreFailed,
-    StoreDamaged,
-    NoRoom,
-    NotThere,
+    StorageFailed,
+    StorageDamaged,
+    InsufficientCapacity,
+    NotFound,
     WrongState,
-    TakenId,
-    LeaseOver,
+    DuplicateId,
+    LeaseExpired,
     InvariantBroken,
 )
 AnyError = (
-    BadCall
+    InvalidCall
     | NoLeader
     | UnknownOutcome
-    | Crowded
+    | Overloaded
     | MajorityLost
     | NewIncarnation
     | StaleIncarnation
-    | AnotherFleet
+    | ClusterMismatch
     | BadFrame
-    | StoreFailed
-    | StoreDamaged
-    | NoRoom
-    | NotThere
+    | StorageFailed
+    | StorageDamaged
+    | InsufficientCapacity
+    | NotFound
     | WrongState
-    | TakenId
-    | LeaseOver
+    | DuplicateId
+    | LeaseExpired
     | InvariantBroken
 )
--- a/badgeryoke/cluster/events.py
+++ b/badgeryoke/cluster/events.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass
 from typing import Any
 
-from badgeryoke.cluster.errors import FleetError
-from badgeryoke.cluster.messages import AnyMessage, Config, Entry, Id
+from badgeryoke.cluster.errors import ClusterError
+from badgeryoke.cluster.messages import AnyMessage, GroupConfiguration, LogEntry, MemberId
 
 # What a store keeps of one group
 # -------------------------------------------------------------------------------------
@@ -17,14 +17,14 @@
     """Term and vote; replaces the one before."""
 
     term: int
-    vote: Id
+    vote: MemberId
 
 
 @dataclass(frozen=True, slots=True)
 class Entries:
     """Entries at the end of the log; what lies at or behind the first one's index goes."""
 
-    entries: tuple[Entry, ...]
+    entries: tuple[LogEntry, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,26 +33,26 @@
 
     index: int
     term: int
-    config: Config
+    config: GroupConfiguration
     body: bytes
 
 
 @dataclass(frozen=True, slots=True)
-class Forget:
+class DiscardGroup:
     """The group is not kept here any more."""
 
 
-Record = HardState | Entries | Snapshot | Forget
+Record = HardState | Entries | Snapshot | DiscardGroup
 
 
 @dataclass(frozen=True, slots=True)
-class Saved:
+class PersistedGroup:
     """What a store gives back of one group at a start."""
 
     term: int = 0
-    vote: Id = ""
+    vote: MemberId = ""
     snapshot: Snapshot | None = None
-    entries: tuple[Entry, ...] = ()
+    entries: tuple[LogEntry, ...] = ()
 
 
 # Effects of a replica, and of the node that holds many
@@ -60,15 +60,15 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Send:
+class SendMessage:
     """Tell a member.  Lost, late and out of order are all allowed for; twice as well."""
 
-    to: Id
+    to: MemberId
     message: AnyMessage
 
 
 @dataclass(frozen=True, slots=True)
-class Store:
+class PersistRecords:
     """Put records on stable storage, in order, then come back with Stored(group, seq).  Several may be
     out; the shell may put many groups' under one fsync.  They are answered in the order in which they were
     asked."""
@@ -79,7 +79,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Done:
+class OperationCompleted:
     """A proposal, a read or a change of members has come to its end: the machine's result, or why not."""
 
     token: str
@@ -87,7 +87,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Say:
+class LogEvent:
     """A line for the operators: a level of logging, an event's name, and its fields."""
 
     level: str
@@ -95,7 +95,7 @@
     fields: dict[str, Any]
 
 
-Effect = Send | Store | Done | Say
+Effect = SendMessage | PersistRecords | OperationCompleted | LogEvent
 
 # Events of a replica
 # --------------------------------------------------------------------------------------------------
@@ -107,15 +107,15 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Received:
+class MessageReceived:
     """A message to this Id from that one."""
 
-    sender: Id
+    sender: MemberId
     message: AnyMessage
 
 
 @dataclass(frozen=True, slots=True)
-class Stored:
+class RecordsPersisted:
     """Store(group, seq) is on stable storage."""
 
     group: str
@@ -123,14 +123,14 @@
 
 
 @dataclass(frozen=True, slots=True)
-class StoreBroke:
+class StorageFailure:
     """The store takes nothing more: this member promises nothing from here on."""
 
-    error: FleetError
+    error: ClusterError
 
 
 @dataclass(frozen=True, slots=True)
-class Propose:
+class ProposeCommand:
     """Put a command into the log; Done(token, what the machine gave for it) when it is applied here."""
 
     token: str
@@ -138,37 +138,46 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Read:
+class ReadIndexRequest:
     """Done(token, None) once all that was acknowledged before this moment is applied here (read index)."""
 
     token: str
 
 
 @dataclass(frozen=True, slots=True)
-class Change:
+class ChangeMembership:
     """Take `who` in as a learner, make a learner a voter, or let one go; refused while another change is
     under way."""
 
     token: str
     act: str  # "learn", "promote" or "remove"
-    who: Id
+    who: MemberId
 
 
 @dataclass(frozen=True, slots=True)
-class HandOver:
+class TransferLeadership:
     """Let another lead: `to`, or whoever has most where it is empty."""
 
-    to: Id = ""
+    to: MemberId = ""
 
 
-ReplicaEvent = Tick | Received | Stored | StoreBroke | Propose | Read | Change | HandOver
+ReplicaEvent = (
+    Tick
+    | MessageReceived
+    | RecordsPersisted
+    | StorageFailure
+    | ProposeCommand
+    | ReadIndexRequest
+    | ChangeMembership
+    | TransferLeadership
+)
 
 # Further events of a node
 # ---------------------------------------------------------------------------------------------
 
 
 @dataclass(frozen=True, slots=True)
-class Call:
+class ClusterCall:
     """The operators' FLEET call, or a part of this gateway: a command for the group that holds its key.
     The node answers with Done(token, ...) exactly once, within `call_ms`."""
 
@@ -177,10 +186,10 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Leave:
+class LeaveCluster:
     """This process ends in order: it hands its groups over, then says so with Done(token, None)."""
 
     token: str
 
 
-NodeEvent = Tick | Received | Stored | StoreBroke | Call | Leave
+NodeEvent = Tick | MessageReceived | RecordsPersisted | StorageFailure | ClusterCall | LeaveCluster
--- a/badgeryoke/cluster/invariants.py
+++ b/badgeryoke/cluster/invariants.py
@@ -32,7 +32,7 @@
     ID_ONCE = "no call with the same id takes effect twice"
 
 
-class Broken(AssertionError):
+class InvariantViolation(AssertionError):
     """A rule that does not hold, in tests and the laboratory."""
 
     def __init__(self, rule: Rule, facts: str) -> None:
@@ -64,5 +64,5 @@
         if self._noted is not None:
             self._noted(rule, said)
         if self._strict:
-            raise Broken(rule, said)
+            raise InvariantViolation(rule, said)
         return False
--- a/badgeryoke/cluster/key_value.py
+++ b/badgeryoke/cluster/key_value.py
@@ -5,8 +5,8 @@
 
 from typing import Any, ClassVar
 
-from badgeryoke.cluster.errors import Crowded
-from badgeryoke.cluster.state_machine.part import Applied, Command, View
+from badgeryoke.cluster.errors import Overloaded
+from badgeryoke.cluster.state_machine.part import ApplyResult, Command, LeaderView
 
 MOST_BYTES = (
     16 * 1024 * 1024
@@ -15,7 +15,7 @@
 MOST_NAME, MOST_VALUE = 128, 1024
 
 
-class Promise(Command, frozen=True, kw_only=True, tag="Promise"):
+class PutValue(Command, frozen=True, kw_only=True, tag="Promise"):
     """Keep `value` under `name`; the answer is what was there before."""
 
     name: str
@@ -30,7 +30,7 @@
         return f"value: {MOST_VALUE} characters at the most" if len(self.value) > MOST_VALUE else ""
 
 
-class PromiseRead(Command, frozen=True, kw_only=True, tag="PromiseRead"):
+class ReadValue(Command, frozen=True, kw_only=True, tag="PromiseRead"):
     """The value under `name`, null where there is none: as of a moment between call and answer."""
 
     reads: ClassVar[bool] = True
@@ -40,7 +40,7 @@
         return f"p:{self.name}"
 
 
-COMMANDS: tuple[type[Command], ...] = (Promise, PromiseRead)
+COMMANDS: tuple[type[Command], ...] = (PutValue, ReadValue)
 
 
 def _bytes(name: str, value: str) -> int:
@@ -48,30 +48,30 @@
     return max(len(name.encode()) + len(value.encode()) + 8, LEAST_BYTES)  # 8: their heads in a snapshot
 
 
-class Promises:
+class KeyValueStore:
     """The part of a group's state that holds them."""
 
     def __init__(self) -> None:
         self._kept: dict[str, str] = {}
         self._held = 0  # bytes
 
-    def apply(self, at_ms: float, command: Promise) -> Applied:
+    def apply(self, at_ms: float, command: PutValue) -> ApplyResult:
         """Take one in."""
         before = self._kept.get(command.name)
         more = _bytes(command.name, command.value) - (0 if before is None else _bytes(command.name, before))
         if more > 0 and self._held + more > MOST_BYTES:
-            return Applied(
-                error=Crowded(command.name, f"{MOST_BYTES} bytes are kept in this group at the most")
+            return ApplyResult(
+                error=Overloaded(command.name, f"{MOST_BYTES} bytes are kept in this group at the most")
             )
         self._kept[command.name] = command.value
         self._held += more
-        return Applied(before)
+        return ApplyResult(before)
 
-    def look(self, command: PromiseRead) -> Applied:
+    def look(self, command: ReadValue) -> ApplyResult:
         """Read one."""
-        return Applied(self._kept.get(command.name))
+        return ApplyResult(self._kept.get(command.name))
 
-    def work(self, view: View) -> list[Command]:
+    def work(self, view: LeaderView) -> list[Command]:
         """Nothing is left to do for a promise."""
         return []
 
--- a/badgeryoke/cluster/leases/lease_pool.py
+++ b/badgeryoke/cluster/leases/lease_pool.py
@@ -23,9 +23,9 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from badgeryoke.cluster.errors import BadCall, LeaseOver
+from badgeryoke.cluster.errors import InvalidCall, LeaseExpired
 from badgeryoke.cluster.invariants import Invariants, Rule
-from badgeryoke.cluster.messages import Id
+from badgeryoke.cluster.messages import MemberId
 
 EDGE = 1e-9
 MOST_HOLDERS = 1024
@@ -41,7 +41,7 @@
 
 
 @dataclass(slots=True)
-class Held:
+class LeaseShare:
     """One holder's lease."""
 
     number: int
@@ -56,7 +56,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Grant:
+class LeaseGrant:
     """What an asker holds from here on.  It shrinks to `fair` and `fair_cap` before it next asks."""
 
     number: int
@@ -72,7 +72,7 @@
 
 
 @dataclass(slots=True)
-class Divided:
+class LeasePool:
     """One whole.  `step`: parts are multiples of it (1 for connections).  `even`: where wishes pass the
     whole, each gets an even part up to its wish (connections); else in proportion to the wishes, which
     loses least where one customer's traffic moves between the holders.  A whole that is made less takes
@@ -81,7 +81,7 @@
     aim: float  # the whole as it shall be
     depth: float = 0.0  # of the bucket that travels along; 0 for none
     step: float = 0.0
-    held: dict[Id, Held] = field(default_factory=dict)
+    held: dict[MemberId, LeaseShare] = field(default_factory=dict)
     last: int = 0
     free: float = -1.0  # units of the bucket that nobody holds; begins at `depth`
     even: bool = True
@@ -105,7 +105,7 @@
             0.0,
         ]
 
-    def _put(self, who: Id, one: Held, sign: float = 1.0) -> None:
+    def _put(self, who: MemberId, one: LeaseShare, sign: float = 1.0) -> None:
         """Take a holder in, or (-1) out, and bring the sums up to that."""
         if sign > 0.0:
             self.held[who] = one
@@ -134,7 +134,7 @@
             )
             self.sums = afresh
 
-    def grow(self, who: Id, by: float) -> None:
+    def grow(self, who: MemberId, by: float) -> None:
         """More for a holder, of what nobody has."""
         self.held[who].part += by
         self.sums[0] += by
@@ -163,7 +163,7 @@
 
     def ask(
         self,
-        who: Id,
+        who: MemberId,
         number: int,
         keep: float,
         wish: float,
@@ -174,7 +174,7 @@
         soft: bool = False,
         least: float = 0.0,
         pulls: bool = False,
-    ) -> Grant | BadCall | LeaseOver:
+    ) -> LeaseGrant | InvalidCall | LeaseExpired:
         """Renew, shrink, grow or give back (wish 0, keep 0, not soft).  `number` 0: it holds none.
 
         `hold`: the depth that it keeps of its bucket; `room`: units that it has taken out of it and gives
@@ -184,7 +184,7 @@
         mine = self.held.get(who)
         had, cap = (mine.part, mine.cap) if mine is not None else (0.0, 0.0)
         if number != (mine.number if mine is not None else 0):
-            return LeaseOver(who, f"lease {number} is not the one in force")
+            return LeaseExpired(who, f"lease {number} is not the one in force")
         if not (
             0.0 <= keep <= had + EDGE
             and 0.0 <= wish < math.inf
@@ -194,11 +194,11 @@
             and hold >= 0.0
             and hold + room <= cap + EDGE
         ):
-            return BadCall(
+            return InvalidCall(
                 who, f"keep {keep!r}, wish {wish!r}, hold {hold!r} or room {room!r} is out of bounds"
             )
         if mine is None and len(self.held) >= MOST_HOLDERS:
-            return BadCall(who, f"{MOST_HOLDERS} hold a part already")
+            return InvalidCall(who, f"{MOST_HOLDERS} hold a part already")
         before, deep = self.granted(), self._caps()
         if mine is not None:
             self._put(who, mine, -1.0)
@@ -206,7 +206,7 @@
         # depth.
         self.free = max(min(self.free + room, self.depth - self._caps() - hold), 0.0)
         if wish <= 0.0 and keep <= 0.0 and hold <= 0.0 and not soft:
-            return Grant(0, 0.0, 0.0, self.aim - self.granted(), len(self.held))
+            return LeaseGrant(0, 0.0, 0.0, self.aim - self.granted(), len(self.held))
         spare = max(self.aim - self.granted(), 0.0)
         fair = self.fair(who, wish, soft, pulls)
         most = fair if not self.even or soft else min(wish, fair)
@@ -227,7 +227,7 @@
         self.free -= given
         cap = hold + max(min(grow, slack + given), given)
         self.last += 1
-        self._put(who, Held(self.last, part, wish, cap, soft, pulls))
+        self._put(who, LeaseShare(self.last, part, wish, cap, soft, pulls))
         self._summed(rules)
         rules.check(
             Rule.PARTS_IN_WHOLE,
@@ -239,7 +239,7 @@
             ),
         )
         lack = 0.0 if self.even else self._lack(who, wish, pulls)
-        return Grant(
+        return LeaseGrant(
             self.last,
             part,
             given,
@@ -252,7 +252,7 @@
             lack,
         )
 
-    def _lack(self, who: Id, wish: float, pulls: bool) -> float:
+    def _lack(self, who: MemberId, wish: float, pulls: bool) -> float:
         """What others have less than is due to their wishes beside this one, and what should be nobody's
         and is not."""
         others = max(self.sums[1] - (0.0 if pulls else wish), 0.0)
@@ -268,7 +268,7 @@
         """What of the rate is to be nobody's: for those that pull, and what several do not need evenly."""
         return min(self.aim, LOOSE * pulls + min(POOLED * min(self.aim, wish + others), others))
 
-    def fair(self, who: Id, wish: float, soft: bool = False, pulls: bool = False) -> float:
+    def fair(self, who: MemberId, wish: float, soft: bool = False, pulls: bool = False) -> float:
         """What one wish comes to beside those of all other holders; with what no wish needs where it is
         soft."""
         mine = self.held.get(who)
@@ -304,13 +304,13 @@
         count, total = len(self.held) + 1, wish + max(self.sums[1], 0.0)
         return self.depth * (STANDBY / (count + 1) + BUSY * (wish / total if total > 0.0 else 0.0))
 
-    def excess(self, who: Id) -> float:
+    def excess(self, who: MemberId) -> float:
         """By how much a holder is above its fair part while others have less than theirs: it should give
         that back."""
         mine = self.held[who]
         return max(mine.part - self.fair(who, mine.wish, mine.soft), 0.0)
 
-    def end(self, who: Id, number: int) -> bool:
+    def end(self, who: MemberId, number: int) -> bool:
         """The time of a lease is over: its part and its depth are free, what was in its bucket is gone."""
         mine = self.held.get(who)
         if mine is None or mine.number != number:
@@ -318,7 +318,7 @@
         self._put(who, mine, -1.0)
         return True
 
-    def over(self, now: float, outlast: float, since: float) -> list[tuple[Id, int]]:
+    def over(self, now: float, outlast: float, since: float) -> list[tuple[MemberId, int]]:
         """Whose time is over by this machine's clock: seen for so long, and not before this one began to
         look."""
         return [(who, one.number) for who, one in self.held.items() if now - max(one.seen, since) >= outlast]
@@ -350,9 +350,17 @@
         ]
 
     @classmethod
-    def load(cls, raw: Any) -> Divided:
+    def load(cls, raw: Any) -> LeasePool:
         """From `dump`; what is held counts as seen when it is next looked at."""
         aim, depth, step, last, free, even, at_ms, held, sums = raw
         return cls(
-            aim, depth, step, {who: Held(*rest) for who, *rest in held}, last, free, even, at_ms, list(sums)
+            aim,
+            depth,
+            step,
+            {who: LeaseShare(*rest) for who, *rest in held},
+            last,
+            free,
+            even,
+            at_ms,
+            list(sums),
         )
--- a/badgeryoke/cluster/membership/protocol.py
+++ b/badgeryoke/cluster/membership/protocol.py
@@ -31,8 +31,8 @@
 from heapq import nsmallest
 from random import Random
 
-from badgeryoke.cluster.events import Received, Say, Send, Tick
-from badgeryoke.cluster.messages import Ack, Id, Nack, Ping, PingFor, Rumour, name_of
+from badgeryoke.cluster.events import LogEvent, MessageReceived, SendMessage, Tick
+from badgeryoke.cluster.messages import Ack, GossipUpdate, MemberId, Nack, Ping, PingRequest, member_name
 from badgeryoke.cluster.node_setup import Member
 from badgeryoke.cluster.timings import Timings
 
@@ -56,13 +56,13 @@
 
     name: str
     hall: str
-    id: Id  # "name/" while unknown
+    id: MemberId  # "name/" while unknown
     state: int = ALIVE
     count: int = 0
     since: float = 0.0  # when it came into its state
-    by: dict[Id, None] = field(default_factory=dict)  # who suspects it
+    by: dict[MemberId, None] = field(default_factory=dict)  # who suspects it
     took: float = 0.0  # ms that its answers take of late
-    gone: dict[Id, float] = field(default_factory=dict)  # earlier Ids, and since when
+    gone: dict[MemberId, float] = field(default_factory=dict)  # earlier Ids, and since when
 
     @property
     def known(self) -> bool:
@@ -78,7 +78,7 @@
     ask_at: float
     end_at: float
     asked: int = 0
-    nacks: set[Id] = field(default_factory=set)
+    nacks: set[MemberId] = field(default_factory=set)
     over: bool = False
 
 
@@ -86,9 +86,9 @@
 class _Relay:
     """A probe for another."""
 
-    asker: Id
+    asker: MemberId
     seq: int
-    target: Id
+    target: MemberId
     nack_at: float
     end_at: float
 
@@ -97,7 +97,7 @@
 class _Told:
     """A rumour on its way, and how often it was told."""
 
-    rumour: Rumour
+    rumour: GossipUpdate
     times: int = 0
 
 
@@ -106,7 +106,7 @@
     freeze."""
 
     def __init__(
-        self, me: Id, hall: str, members: Iterable[Member], timings: Timings, draw: Random, now: float
+        self, me: MemberId, hall: str, members: Iterable[Member], timings: Timings, draw: Random, now: float
     ) -> None:
         self.me, self.hall, self.count, self.health = me, hall, 0, 0
         self._times, self._draw, self._left = timings, draw, False
@@ -114,7 +114,7 @@
         self._peers = {
             one.name: _Peer(one.name, one.hall, one.name + "/", since=now)
             for one in members
-            if one.name != name_of(me)
+            if one.name != member_name(me)
         }
         self._order: list[str] = []
         self._probes: dict[int, _Probe] = {}
@@ -122,7 +122,7 @@
         self._suspects: dict[str, None] = {}
         # what an answer takes of late, over all: where all links are slow, nobody is dead of it
         self._took = 0.0
-        self._rumours: dict[tuple[str, Id], _Told] = {}  # by name, and by who suspects it
+        self._rumours: dict[tuple[str, MemberId], _Told] = {}  # by name, and by who suspects it
         self._periods = 0
         self._next = now + draw.random() * timings.probe_ms if self._peers else math.inf
         self._told()
@@ -131,15 +131,15 @@
     # What is believed
     # ------------------------------------------------------------------------------------------------
 
-    def alive(self) -> frozenset[Id]:
+    def alive(self) -> frozenset[MemberId]:
         """Ids that are alive or merely suspected, this one with them."""
         found = [one.id for one in self._peers.values() if one.known and one.state in (ALIVE, SUSPECT)]
         return frozenset(found if self._left else [*found, self.me])
 
-    def dead_for(self, now: float) -> dict[Id, float]:
+    def dead_for(self, now: float) -> dict[MemberId, float]:
         """For how long (ms) each has been believed dead; a name whose Id was never heard of stands as
         "name/"."""
-        found: dict[Id, float] = {}
+        found: dict[MemberId, float] = {}
         grace = LEFT_GRACE * self._times.repair_after_ms
         for one in self._peers.values():
             for who, since in one.gone.items():
@@ -152,54 +152,58 @@
 
     def state_of(self, who: str) -> str:
         """Of a name or an Id: one of STATES, "superseded" or "unknown"."""
-        if name_of(who) == name_of(self.me):
-            return ("left" if self._left else "alive") if who in (self.me, name_of(self.me)) else "superseded"
-        peer = self._peers.get(name_of(who))
+        if member_name(who) == member_name(self.me):
+            return (
+                ("left" if self._left else "alive")
+                if who in (self.me, member_name(self.me))
+                else "superseded"
+            )
+        peer = self._peers.get(member_name(who))
         if peer is None or (not peer.known and peer.state == ALIVE):
             return "unknown"
         if "/" in who and who != peer.id:
             return "superseded" if who in peer.gone else "unknown"
         return STATES[peer.state]
 
-    def ids(self) -> dict[str, Id]:
+    def ids(self) -> dict[str, MemberId]:
         """The Id of each name as last known; "name/" where none is."""
-        return {name_of(self.me): self.me, **{one.name: one.id for one in self._peers.values()}}
+        return {member_name(self.me): self.me, **{one.name: one.id for one in self._peers.values()}}
 
     def halls(self) -> dict[str, str]:
         """The hall of each name."""
-        return {name_of(self.me): self.hall, **{one.name: one.hall for one in self._peers.values()}}
+        return {member_name(self.me): self.hall, **{one.name: one.hall for one in self._peers.values()}}
 
-    def know(self, now: float, ids: Iterable[Id]) -> None:
+    def know(self, now: float, ids: Iterable[MemberId]) -> None:
         """Ids from the founding record or the log, where a name's is not known yet; nothing is believed
         anew."""
         for who in ids:
-            peer = self._peers.get(name_of(who))
+            peer = self._peers.get(member_name(who))
             if peer is not None and not peer.known:
                 peer.id = who
 
     # What happens
     # ----------------------------------------------------------------------------------------------------
 
-    def handle(self, now: float, event: Tick | Received) -> list[Send | Say]:
+    def handle(self, now: float, event: Tick | MessageReceived) -> list[SendMessage | LogEvent]:
         """Take an event in; gives what has to be sent and said."""
-        out: list[Send | Say] = []
+        out: list[SendMessage | LogEvent] = []
         late = now - self.due
         if late > self._times.probe_timeout_ms / 2:
             self._thawed(now, late)
-        if isinstance(event, Received) and name_of(event.sender) in self._peers:
+        if isinstance(event, MessageReceived) and member_name(event.sender) in self._peers:
             self._received(now, event.sender, event.message, out)
         self._timers(now, out)
         self._set_due()
         return out
 
-    def leave(self, now: float) -> list[Send | Say]:
+    def leave(self, now: float) -> list[SendMessage | LogEvent]:
         """This process ends in order: a few are told, and tell the others."""
         if self._left:
             return []
         self._left, self.count = True, self.count + 1
         self._told()
-        out: list[Send | Say] = [
-            Send(one.id, Ping(self._new_seq(), one.id, self._gossip(one.name)))
+        out: list[SendMessage | LogEvent] = [
+            SendMessage(one.id, Ping(self._new_seq(), one.id, self._gossip(one.name)))
             for one in self._some("", PROXIES)
         ]
         self._next = math.inf
@@ -221,36 +225,41 @@
             for who in peer.gone:
                 peer.gone[who] += late
 
-    def _received(self, now: float, sender: Id, message: object, out: list[Send | Say]) -> None:
-        peer = self._peers[name_of(sender)]
+    def _received(
+        self, now: float, sender: MemberId, message: object, out: list[SendMessage | LogEvent]
+    ) -> None:
+        peer = self._peers[member_name(sender)]
         if isinstance(message, Ack):
             self._answered(now, sender, message, out)
         elif sender != peer.id and not self._supersede(now, peer, sender, out):
             return  # from a process that is no more; an answer to a probe of ours would tell otherwise
-        if not isinstance(message, (Ping, Ack, PingFor, Nack)):
+        if not isinstance(message, (Ping, Ack, PingRequest, Nack)):
             return
         for rumour in message.gossip[:MOST_GOSSIP]:
             self._hear(now, rumour, out)
         if isinstance(message, Ping) and not self._left:
-            if name_of(message.target) == name_of(self.me):  # an earlier Id is answered as the present one
-                out.append(Send(sender, Ack(message.seq, self.me, self._gossip(name_of(sender)))))
-        elif isinstance(message, PingFor) and not self._left:
+            # an earlier Id is answered as the present one
+            if member_name(message.target) == member_name(self.me):
+                out.append(SendMessage(sender, Ack(message.seq, self.me, self._gossip(member_name(sender)))))
+        elif isinstance(message, PingRequest) and not self._left:
             self._relay(now, sender, message, out)
         elif isinstance(message, Nack):
             probe = self._probes.get(message.seq)
             if probe is not None and not probe.over and len(probe.nacks) < PROXIES:
                 probe.nacks.add(sender)
 
-    def _answered(self, now: float, sender: Id, ack: Ack, out: list[Send | Say]) -> None:
+    def _answered(self, now: float, sender: MemberId, ack: Ack, out: list[SendMessage | LogEvent]) -> None:
         """Proof of life of `ack.target`, whoever passed it on: the number is one of our own."""
         relay = self._relays.pop(ack.seq, None)
-        if relay is not None and name_of(relay.target) == name_of(ack.target):
-            out.append(Send(relay.asker, Ack(relay.seq, ack.target, self._gossip(name_of(relay.asker)))))
+        if relay is not None and member_name(relay.target) == member_name(ack.target):
+            out.append(
+                SendMessage(relay.asker, Ack(relay.seq, ack.target, self._gossip(member_name(relay.asker))))
+            )
         probe = self._probes.get(ack.seq)
-        if probe is None or probe.name != name_of(ack.target):
+        if probe is None or probe.name != member_name(ack.target):
             if relay is None:
                 return
-            peer = self._peers.get(name_of(ack.target))
+            peer = self._peers.get(member_name(ack.target))
         else:
             peer = self._peers[probe.name]
             if sender == ack.target:
@@ -269,12 +278,15 @@
         elif peer.state == SUSPECT:
             peer.since = now  # it is dead only when it has answered nothing for the whole time-out
         elif peer.state in (DEAD, LEFT):
-            self._tell(Rumour(peer.id, peer.state, peer.count, self.me))  # so that it hears of it and refutes
+            # so that it hears of it and refutes
+            self._tell(GossipUpdate(peer.id, peer.state, peer.count, self.me))
 
-    def _relay(self, now: float, asker: Id, message: PingFor, out: list[Send | Say]) -> None:
-        if name_of(message.target) == name_of(self.me):
-            out.append(Send(asker, Ack(message.seq, self.me, self._gossip(name_of(asker)))))
-        elif name_of(message.target) in self._peers:
+    def _relay(
+        self, now: float, asker: MemberId, message: PingRequest, out: list[SendMessage | LogEvent]
+    ) -> None:
+        if member_name(message.target) == member_name(self.me):
+            out.append(SendMessage(asker, Ack(message.seq, self.me, self._gossip(member_name(asker)))))
+        elif member_name(message.target) in self._peers:
             seq = self._new_seq()
             _bound(self._relays)
             self._relays[seq] = _Relay(
@@ -284,16 +296,20 @@
                 now + 0.8 * self._times.probe_timeout_ms,
                 now + PATIENCE * self._times.probe_ms,
             )
-            out.append(Send(message.target, Ping(seq, message.target, self._gossip(name_of(message.target)))))
+            out.append(
+                SendMessage(
+                    message.target, Ping(seq, message.target, self._gossip(member_name(message.target)))
+                )
+            )
 
     # Rumours
     # ---------------------------------------------------------------------------------------------------------
 
-    def _hear(self, now: float, rumour: Rumour, out: list[Send | Say]) -> None:
-        name = name_of(rumour.who)
+    def _hear(self, now: float, rumour: GossipUpdate, out: list[SendMessage | LogEvent]) -> None:
+        name = member_name(rumour.who)
         if rumour.who.endswith("/") or rumour.state not in (ALIVE, SUSPECT, DEAD, LEFT):
             return
-        if name == name_of(self.me):
+        if name == member_name(self.me):
             if rumour.who != self.me:
                 self._told()  # whoever tells of an earlier Id has not heard of this one
             elif rumour.state != ALIVE and rumour.count < self.count:
@@ -302,14 +318,16 @@
                 self.count = rumour.count + 1
                 self.health = min(self.health + 1, MOST_HEALTH)
                 self._told()
-                out.append(Say("info", "fleet_refuted", {"state": STATES[rumour.state], "by": rumour.by}))
+                out.append(
+                    LogEvent("info", "fleet_refuted", {"state": STATES[rumour.state], "by": rumour.by})
+                )
             return
         peer = self._peers.get(name)
         if peer is None:
             return
         if rumour.who != peer.id:
             if rumour.who in peer.gone:
-                self._tell(Rumour(peer.id, peer.state, peer.count, next(iter(peer.by), self.me)))
+                self._tell(GossipUpdate(peer.id, peer.state, peer.count, next(iter(peer.by), self.me)))
                 return
             if rumour.state in (DEAD, LEFT) and peer.known:
                 return  # one that never was here, or is over already
@@ -332,7 +350,9 @@
             peer.count = rumour.count
             self._become(now, peer, rumour.state, rumour, out)
 
-    def _become(self, now: float, peer: _Peer, state: int, rumour: Rumour, out: list[Send | Say]) -> None:
+    def _become(
+        self, now: float, peer: _Peer, state: int, rumour: GossipUpdate, out: list[SendMessage | LogEvent]
+    ) -> None:
         """The one place where a state changes."""
         before, peer.state = peer.state, state
         if before != state:
@@ -347,14 +367,14 @@
         self._tell(rumour)
         if before != state and {before, state} != {ALIVE, SUSPECT}:
             out.append(
-                Say(
+                LogEvent(
                     "warning" if state == DEAD else "info",
                     "fleet_member",
                     {"who": peer.id, "state": STATES[state], "was": STATES[before], "by": rumour.by},
                 )
             )
 
-    def _supersede(self, now: float, peer: _Peer, who: Id, out: list[Send | Say]) -> bool:
+    def _supersede(self, now: float, peer: _Peer, who: MemberId, out: list[SendMessage | LogEvent]) -> bool:
         """Another Id of a known name; False where it is one that is over."""
         if who in peer.gone or who.endswith("/"):
             return False
@@ -362,26 +382,28 @@
             while len(peer.gone) >= MOST_GONE:
                 del peer.gone[next(iter(peer.gone))]
             peer.gone[peer.id] = now
-            out.append(Say("warning", "fleet_new_incarnation", {"who": who, "was": peer.id}))
+            out.append(LogEvent("warning", "fleet_new_incarnation", {"who": who, "was": peer.id}))
         peer.id, peer.count = who, 0
-        self._become(now, peer, ALIVE, Rumour(who, ALIVE, 0), out)
+        self._become(now, peer, ALIVE, GossipUpdate(who, ALIVE, 0), out)
         return True
 
     def _told(self) -> None:
         """This member's own state goes out, anew."""
-        self._tell(Rumour(self.me, LEFT if self._left else ALIVE, self.count))
+        self._tell(GossipUpdate(self.me, LEFT if self._left else ALIVE, self.count))
 
-    def _tell(self, rumour: Rumour) -> None:
+    def _tell(self, rumour: GossipUpdate) -> None:
         if not rumour.who.endswith("/"):  # of a name without an Id there is nothing to tell
-            self._rumours[name_of(rumour.who), rumour.by if rumour.state == SUSPECT else ""] = _Told(rumour)
+            self._rumours[member_name(rumour.who), rumour.by if rumour.state == SUSPECT else ""] = _Told(
+                rumour
+            )
 
-    def _gossip(self, to: str) -> tuple[Rumour, ...]:
+    def _gossip(self, to: str) -> tuple[GossipUpdate, ...]:
         """What goes with a message: what the receiver is believed to be, if not alive; then the least
         told."""
-        first: list[Rumour] = []
+        first: list[GossipUpdate] = []
         peer = self._peers.get(to)
         if peer is not None and peer.state != ALIVE and peer.known:
-            first.append(Rumour(peer.id, peer.state, peer.count, next(iter(peer.by), self.me)))
+            first.append(GossipUpdate(peer.id, peer.state, peer.count, next(iter(peer.by), self.me)))
         most = math.ceil(3 * math.log(len(self._peers) + 2))
         chosen = nsmallest(MOST_GOSSIP - len(first), self._rumours.items(), key=lambda item: item[1].times)
         for key, told in chosen:
@@ -393,7 +415,7 @@
     # Time
     # ------------------------------------------------------------------------------------------------------------
 
-    def _timers(self, now: float, out: list[Send | Say]) -> None:
+    def _timers(self, now: float, out: list[SendMessage | LogEvent]) -> None:
         for seq, probe in list(self._probes.items()):
             if probe.over:
                 if now >= probe.end_at + PATIENCE * self._times.probe_ms:
@@ -405,28 +427,32 @@
                 target = self._peers[probe.name].id
                 proxies = self._some(probe.name, PROXIES)
                 probe.asked = len(proxies)
-                out += [Send(one.id, PingFor(seq, target, self._gossip(one.name))) for one in proxies]
+                out += [
+                    SendMessage(one.id, PingRequest(seq, target, self._gossip(one.name))) for one in proxies
+                ]
         for seq, relay in list(self._relays.items()):
             if now >= relay.end_at:
                 del self._relays[seq]
             elif now >= relay.nack_at:
                 relay.nack_at = math.inf
                 out.append(
-                    Send(relay.asker, Nack(relay.seq, relay.target, self._gossip(name_of(relay.asker))))
+                    SendMessage(
+                        relay.asker, Nack(relay.seq, relay.target, self._gossip(member_name(relay.asker)))
+                    )
                 )
         for name in list(self._suspects):
             peer = self._peers[name]
             if now >= self._ends(peer):
-                self._become(now, peer, DEAD, Rumour(peer.id, DEAD, peer.count, self.me), out)
+                self._become(now, peer, DEAD, GossipUpdate(peer.id, DEAD, peer.count, self.me), out)
         if now >= self._next:
             self._next = now + self._times.probe_ms * (self.health + 1)
             self._probe(now, out)
 
-    def _failed(self, now: float, probe: _Probe, out: list[Send | Say]) -> None:
+    def _failed(self, now: float, probe: _Probe, out: list[SendMessage | LogEvent]) -> None:
         probe.over = True
         self.health = min(self.health + (probe.asked - len(probe.nacks) if probe.asked else 1), MOST_HEALTH)
         peer = self._peers[probe.name]
-        rumour = Rumour(peer.id, SUSPECT, peer.count, self.me)
+        rumour = GossipUpdate(peer.id, SUSPECT, peer.count, self.me)
         if peer.state == ALIVE:
             self._become(now, peer, SUSPECT, rumour, out)
             self._order.append(peer.name)  # once more at the next turn: that tells it
@@ -445,7 +471,7 @@
         shorter = min(math.log(len(peer.by)) / math.log(confirm + 1), 1.0) if peer.by else 0.0
         return peer.since + least * (LONGEST_SUSPICION - (LONGEST_SUSPICION - 1.0) * shorter)
 
-    def _probe(self, now: float, out: list[Send | Say]) -> None:
+    def _probe(self, now: float, out: list[SendMessage | LogEvent]) -> None:
         """One probe of who is not known to be dead, in a shuffled round; every second time a knock at a
         dead one."""
         self._periods += 1
@@ -461,7 +487,7 @@
             self._order = list(self._peers)
             self._draw.shuffle(self._order)
 
-    def _ping(self, now: float, peer: _Peer, out: list[Send | Say], knock: bool = False) -> None:
+    def _ping(self, now: float, peer: _Peer, out: list[SendMessage | LogEvent], knock: bool = False) -> None:
         seq, stretch, took = self._new_seq(), self.health + 1, max(peer.took, self._took)
         wait = max(self._times.probe_timeout_ms * stretch, 1.5 * took)
         end = max(self._times.probe_ms * stretch, min(3 * took, PATIENCE * self._times.probe_ms))
@@ -470,7 +496,7 @@
         # Who is taken for dead is knocked at by its name: another Id may live there now; where all that this
         # one knew were lost in turn, no third is left to tell of it.
         to = peer.name + "/" if knock else peer.id
-        out.append(Send(to, Ping(seq, to, self._gossip(peer.name))))
+        out.append(SendMessage(to, Ping(seq, to, self._gossip(peer.name))))
 
     def _some(self, but: str, count: int) -> list[_Peer]:
         found = [one for one in self._peers.values() if one.state == ALIVE and one.known and one.name != but]
--- a/badgeryoke/cluster/messages.py
+++ b/badgeryoke/cluster/messages.py
@@ -9,26 +9,26 @@
 import msgspec
 
 VERSION = 1
-Id = str  # "name/incarnation"
+MemberId = str  # "name/incarnation"
 
 
-def name_of(who: Id) -> str:
+def member_name(who: MemberId) -> str:
     """The member's name in the operators' file."""
     return who.partition("/")[0]
 
 
-class Config(msgspec.Struct, frozen=True, array_like=True):
+class GroupConfiguration(msgspec.Struct, frozen=True, array_like=True):
     """Who holds copies of a group.  Learners are sent everything and counted for nothing."""
 
-    voters: tuple[Id, ...]
-    learners: tuple[Id, ...] = ()
+    voters: tuple[MemberId, ...]
+    learners: tuple[MemberId, ...] = ()
 
     def majority(self) -> int:
         """So many voters are one."""
         return len(self.voters) // 2 + 1
 
 
-class Entry(msgspec.Struct, frozen=True, array_like=True):
+class LogEntry(msgspec.Struct, frozen=True, array_like=True):
     """One entry of a log.  `kind`: 0 nothing (a new leader's first), 1 a command, 2 a Config."""
 
     index: int
@@ -41,7 +41,8 @@
 
 
 class Message(msgspec.Struct, frozen=True, tag=True, array_like=True):
-    """Any message.  Each states its tag, which is on the wire: the name of the type may change, the tag may not."""
+    """Any message.  Each states its tag, which is on the wire: the name of the type may change, the tag
+    may not."""
 
 
 class GroupMessage(Message, frozen=True):
@@ -51,7 +52,7 @@
     term: int
 
 
-class Ask(GroupMessage, frozen=True, tag="Ask"):
+class RequestVote(GroupMessage, frozen=True, tag="Ask"):
     """For a vote; `pre`: only whether one would be given (pre-vote, nothing is stored by it).  `lead`: the
     leader has handed over, so that who has heard a leader lately votes all the same."""
 
@@ -61,24 +62,24 @@
     lead: bool = False
 
 
-class Vote(GroupMessage, frozen=True, tag="Vote"):
+class RequestVoteReply(GroupMessage, frozen=True, tag="Vote"):
     """The answer to Ask."""
 
     granted: bool
     pre: bool
 
 
-class Append(GroupMessage, frozen=True, tag="Append"):
+class AppendEntries(GroupMessage, frozen=True, tag="Append"):
     """Entries behind `previous`; none: a heartbeat.  `round` comes back, for reads."""
 
     previous: int
     previous_term: int
-    entries: tuple[Entry, ...]
+    entries: tuple[LogEntry, ...]
     commit: int
     round: int
 
 
-class Appended(GroupMessage, frozen=True, tag="Appended"):
+class AppendEntriesReply(GroupMessage, frozen=True, tag="Appended"):
     """The answer: what is on stable storage here.  Refused: `index` is where to try next."""
 
     good: bool
@@ -86,19 +87,19 @@
     round: int
 
 
-class Piece(GroupMessage, frozen=True, tag="Piece"):
+class InstallSnapshotChunk(GroupMessage, frozen=True, tag="Piece"):
     """A piece of a snapshot up to (`index`, `index_term`), from byte `offset` of `size`."""
 
     index: int
     index_term: int
-    config: Config
+    config: GroupConfiguration
     offset: int
     size: int
     body: bytes
     round: int
 
 
-class PieceTaken(GroupMessage, frozen=True, tag="PieceTaken"):
+class InstallSnapshotChunkReply(GroupMessage, frozen=True, tag="PieceTaken"):
     """The bytes held of the snapshot up to `index`."""
 
     index: int
@@ -106,11 +107,11 @@
     round: int
 
 
-class Lead(GroupMessage, frozen=True, tag="Lead"):
+class TimeoutNow(GroupMessage, frozen=True, tag="Lead"):
     """The leader hands over: stand for election at once."""
 
 
-class Forward(Message, frozen=True, tag="Forward"):
+class ForwardedCall(Message, frozen=True, tag="Forward"):
     """A call on its way to the leader of the group that holds `key`."""
 
     token: str
@@ -119,7 +120,7 @@
     hops: int
 
 
-class Reply(Message, frozen=True, tag="Reply"):
+class ForwardedReply(Message, frozen=True, tag="Reply"):
     """What became of a Forward: `body` is a `Result` in MessagePack."""
 
     token: str
@@ -131,8 +132,8 @@
     sender's clock, Unix ms, 0 where it does not say."""
 
     seq: int
-    target: Id
-    gossip: tuple[Rumour, ...]
+    target: MemberId
+    gossip: tuple[GossipUpdate, ...]
     wall: float = 0.0
 
 
@@ -140,74 +141,74 @@
     """Its answer; `target`: who was alive."""
 
     seq: int
-    target: Id
-    gossip: tuple[Rumour, ...]
+    target: MemberId
+    gossip: tuple[GossipUpdate, ...]
     wall: float = 0.0
 
 
-class PingFor(Message, frozen=True, tag="PingFor"):
+class PingRequest(Message, frozen=True, tag="PingFor"):
     """Probe `target` for me (SWIM's indirect probe).  A proxy that hears nothing says so with Nack
     (Lifeguard)."""
 
     seq: int
-    target: Id
-    gossip: tuple[Rumour, ...]
+    target: MemberId
+    gossip: tuple[GossipUpdate, ...]
 
 
 class Nack(Message, frozen=True, tag="Nack"):
     """The proxy lives, and has heard nothing of the target."""
 
     seq: int
-    target: Id
-    gossip: tuple[Rumour, ...]
+    target: MemberId
+    gossip: tuple[GossipUpdate, ...]
 
 
-class Rumour(msgspec.Struct, frozen=True, array_like=True):
+class GossipUpdate(msgspec.Struct, frozen=True, array_like=True):
     """What is told of a member: `state` 0 alive, 1 suspected, 2 dead, 3 left; `count` is its own, and
     grows when it refutes a suspicion; `by` is who suspects it."""
 
-    who: Id
+    who: MemberId
     state: int
     count: int
-    by: Id = ""
+    by: MemberId = ""
 
 
-class WhoAreYou(Message, frozen=True, tag="WhoAreYou"):
+class IdentityQuery(Message, frozen=True, tag="WhoAreYou"):
     """A member without a founding asks."""
 
     sender_hall: str
 
 
-class IAm(Message, frozen=True, tag="IAm"):
+class Announce(Message, frozen=True, tag="IAm"):
     """The answer; `founding`: the record (MessagePack), empty where there is none yet."""
 
     hall: str
     founding: bytes
 
 
-class Found(Message, frozen=True, tag="Found"):
+class ClusterFounded(Message, frozen=True, tag="Found"):
     """The founder tells the record; taken only by one that has none and is named in it."""
 
     founding: bytes
 
 
 AnyMessage = (
-    Ask
-    | Vote
-    | Append
-    | Appended
-    | Piece
-    | PieceTaken
-    | Lead
-    | Forward
-    | Reply
+    RequestVote
+    | RequestVoteReply
+    | AppendEntries
+    | AppendEntriesReply
+    | InstallSnapshotChunk
+    | InstallSnapshotChunkReply
+    | TimeoutNow
+    | ForwardedCall
+    | ForwardedReply
     | Ping
     | Ack
-    | PingFor
+    | PingRequest
     | Nack
-    | WhoAreYou
-    | IAm
-    | Found
+    | IdentityQuery
+    | Announce
+    | ClusterFounded
 )
 
 
@@ -216,6 +217,6 @@
 
     version: int
     fleet: str  # its name
-    sender: Id
-    to: Id
+    sender: MemberId
+    to: MemberId
     messages: tuple[AnyMessage, ...]
--- a/badgeryoke/cluster/node.py
+++ b/badgeryoke/cluster/node.py
@@ -15,60 +15,60 @@
 
 import msgspec
 
-from badgeryoke.cluster.bootstrap import Founding
-from badgeryoke.cluster.connection_limits import Limit, bucket
+from badgeryoke.cluster.bootstrap import Bootstrap
+from badgeryoke.cluster.connection_limits import SetConnectionLimit, bucket
 from badgeryoke.cluster.errors import (
     AnyError,
-    BadCall,
-    Crowded,
-    FleetError,
+    ClusterError,
+    InvalidCall,
     InvariantBroken,
     NoLeader,
-    StoreFailed,
+    Overloaded,
+    StorageFailed,
     UnknownOutcome,
 )
 from badgeryoke.cluster.events import (
-    Call,
-    Done,
+    ClusterCall,
     Effect,
-    HandOver,
-    Leave,
+    LeaveCluster,
+    LogEvent,
+    MessageReceived,
     NodeEvent,
-    Propose,
-    Read,
-    Received,
+    OperationCompleted,
+    PersistedGroup,
+    ProposeCommand,
+    ReadIndexRequest,
+    RecordsPersisted,
     ReplicaEvent,
-    Saved,
-    Say,
-    Send,
-    StoreBroke,
-    Stored,
+    SendMessage,
+    StorageFailure,
     Tick,
+    TransferLeadership,
 )
 from badgeryoke.cluster.invariants import Invariants
 from badgeryoke.cluster.membership.protocol import Membership
 from badgeryoke.cluster.messages import (
     Ack,
-    Config,
-    Forward,
-    Found,
+    Announce,
+    ClusterFounded,
+    ForwardedCall,
+    ForwardedReply,
+    GroupConfiguration,
     GroupMessage,
-    IAm,
-    Id,
+    IdentityQuery,
+    MemberId,
     Nack,
     Ping,
-    PingFor,
-    Reply,
-    WhoAreYou,
-    name_of,
+    PingRequest,
+    member_name,
 )
-from badgeryoke.cluster.node_setup import FOUNDING, Holder, Member, Setup
-from badgeryoke.cluster.placement.directory import Places, Placing, first_placing, group_of
-from badgeryoke.cluster.raft.node import Replica
-from badgeryoke.cluster.state_machine.machine import GroupState, decode, encode
-from badgeryoke.cluster.state_machine.part import FLEET, Applied, Command, View
+from badgeryoke.cluster.node_setup import FOUNDING, LeaseClient, Member, NodeSetup
+from badgeryoke.cluster.placement.directory import PlacementDirectory, ReadPlacement, first_placing, group_of
+from badgeryoke.cluster.raft.node import RaftNode
+from badgeryoke.cluster.state_machine.machine import GroupStateMachine, decode, encode
+from badgeryoke.cluster.state_machine.part import FLEET, ApplyResult, Command, LeaderView
 
-__all__ = ["FOUNDING", "Holder", "Member", "Node", "Setup"]
+__all__ = ["FOUNDING", "ClusterNode", "LeaseClient", "Member", "NodeSetup"]
 MOST_CALLS = 4096  # calls of this gateway that have no answer yet; more are refused
 MOST_MET = 8192  # Ids heard by one process; further ones are not counted on
 MOST_HOPS = 3  # of a call on its way to a leader
@@ -86,7 +86,7 @@
 POLL_MS = 50.0  # the holders' calls are looked for so often
 
 
-_replies = msgspec.msgpack.Decoder(tuple[Applied | None, AnyError | None, str])
+_replies = msgspec.msgpack.Decoder(tuple[ApplyResult | None, AnyError | None, str])
 
 
 @dataclass(slots=True)
@@ -96,12 +96,12 @@
     command: Command
     group: str
     until: float
-    answer: Callable[[float, Applied | FleetError], list[Effect]]
+    answer: Callable[[float, ApplyResult | ClusterError], list[Effect]]
     again: float  # when it is made again
     round: int = 0  # of looking for the leader
     tries: int = 0
     open: dict[int, None] = field(default_factory=dict)  # tries that have no answer yet
-    last: FleetError | None = None  # what the last try came to
+    last: ClusterError | None = None  # what the last try came to
     maybe: bool = False  # a try may have been taken: its answer was that nobody knows
 
 
@@ -109,7 +109,7 @@
     return []
 
 
-class Node:
+class ClusterNode:
     """See above.  `due` is when the next Tick has to come at the latest, `now`'s clock.
 
     `load` may be set by the shell: what the gateway knows of capacity and demand, units a second.
@@ -117,13 +117,13 @@
 
     def __init__(
         self,
-        setup: Setup,
-        saved: dict[str, Saved],
+        setup: NodeSetup,
+        saved: dict[str, PersistedGroup],
         draw: Random,
         now: float,
         wall: float,
         rules: Invariants,
-        holders: Iterable[Holder] = (),
+        holders: Iterable[LeaseClient] = (),
     ) -> None:
         self.setup, self.rules, self.me = setup, rules, setup.id
         self._timings, self._draw = setup.timings, draw
@@ -133,29 +133,29 @@
         # set by the shell while a roll takes this gateway: what is led goes to others
         self.lead_nothing = False
         self.holders = list(holders)
-        self.replicas: dict[str, Replica] = {}
-        self.states: dict[str, GroupState] = {}
+        self.replicas: dict[str, RaftNode] = {}
+        self.states: dict[str, GroupStateMachine] = {}
         self.membership = Membership(
             self.me, self._halls.get(setup.me, ""), setup.members, setup.timings, draw, now
         )
-        self.founding = Founding(setup, self._saved.pop(FOUNDING, Saved()), draw, now)
-        self._broken: FleetError | None = None  # why this member promises nothing
+        self.founding = Bootstrap(setup, self._saved.pop(FOUNDING, PersistedGroup()), draw, now)
+        self._broken: ClusterError | None = None  # why this member promises nothing
         self._calls: dict[str, _Call] = {}
         self._ours: dict[
             str, Callable[[float, Any], list[Effect]]
         ] = {}  # proposals of replicas here, by token
-        self._routes: dict[str, Id] = {}  # who led a group, as last heard
-        self._placed: dict[str, tuple[Id, ...]] = {}  # who copies a group, as last heard
-        self._first: dict[str, tuple[Id, ...]] = {}  # as founded
+        self._routes: dict[str, MemberId] = {}  # who led a group, as last heard
+        self._placed: dict[str, tuple[MemberId, ...]] = {}  # who copies a group, as last heard
+        self._first: dict[str, tuple[MemberId, ...]] = {}  # as founded
         self._working: dict[str, None] = {}  # commands that a leader here has under way
         self._changing: dict[str, None] = {}  # groups with a change of members under way here
-        self._places = Placing(setup.timings, rules)  # who is to copy what, as last read
+        self._places = PlacementDirectory(setup.timings, rules)  # who is to copy what, as last read
         self._reading = False
         self._places_at = self._heard_at = self._unwell_at = self._read_at = now
         self._lags: dict[
-            tuple[str, Id], float
+            tuple[str, MemberId], float
         ] = {}  # voters of groups led here that have not caught up, since when
-        self._met: dict[Id, None] = {}  # heard by this process
+        self._met: dict[MemberId, None] = {}  # heard by this process
         self._ahead: dict[str, float] = {}  # others' wall clocks less this one's
         self.ahead = 0.0  # the fleet's time less this machine's, ms
         self._timed = len(self._halls) <= 1  # whether a majority's clocks were heard
@@ -184,19 +184,19 @@
         for group in list(self._saved):
             self._replica(now, group)
 
-    def _replica(self, now: float, group: str) -> Replica | None:
+    def _replica(self, now: float, group: str) -> RaftNode | None:
         """The replica of a group; a newcomer's where there is none, which waits to be told."""
         found = self.replicas.get(group)
         if found is None and group in self._placed:
-            state = self.states[group] = GroupState(group, self._timings, self.rules)
+            state = self.states[group] = GroupStateMachine(group, self._timings, self.rules)
             if group == FLEET:
                 assert self.founding.record is not None
                 state.parts["placing"].begin(self.founding.record)
-            saved = self._saved.pop(group, Saved())
+            saved = self._saved.pop(group, PersistedGroup())
             # A founder's first placing alone, and before anything was stored: who comes in later waits to be
             # told.
-            first = Config(self._first[group]) if self.me in self._first.get(group, ()) else None
-            found = self.replicas[group] = Replica(
+            first = GroupConfiguration(self._first[group]) if self.me in self._first.get(group, ()) else None
+            found = self.replicas[group] = RaftNode(
                 group, self.me, saved, state, self._timings, self._draw, self.rules, now, first
             )
         return found
@@ -207,18 +207,18 @@
         broken = self.rules.count
         effects: list[Effect] = []
         for effect in replica.handle(now, event):
-            if isinstance(effect, Done):
+            if isinstance(effect, OperationCompleted):
                 effects += self._ours.pop(effect.token, _nobody)(now, effect.result)
             else:
                 effects.append(effect)
         self.due = min(self.due, replica.due)  # what has become later costs one Tick that does nothing
         if group == FLEET and replica.leading:
             self._hurry(now)
-        if self.rules.count != broken and not isinstance(event, StoreBroke):
+        if self.rules.count != broken and not isinstance(event, StorageFailure):
             rule, facts = self.rules.broken[-1]
             error = InvariantBroken(group, f"{rule.name}: {facts}")
-            effects.append(Say("error", "invariant broken", {"group": group, "error": str(error)}))
-            effects += self._feed(now, group, StoreBroke(error))  # it promises nothing from here on
+            effects.append(LogEvent("error", "invariant broken", {"group": group, "error": str(error)}))
+            effects += self._feed(now, group, StorageFailure(error))  # it promises nothing from here on
         return effects
 
     def _hurry(self, now: float) -> None:
@@ -234,55 +234,57 @@
         """Take an event in; gives what has to be done, in order."""
         effects: list[Effect] = []
         raw, wall = wall, wall + self.ahead
-        if isinstance(event, Received) and event.sender not in self._met and len(self._met) < MOST_MET:
+        if isinstance(event, MessageReceived) and event.sender not in self._met and len(self._met) < MOST_MET:
             self._met[event.sender] = None
         match event:
-            case Received(message=GroupMessage() as message):
+            case MessageReceived(message=GroupMessage() as message):
                 if self.founding.record is not None and self._replica(now, message.group) is not None:
                     effects += self._feed(now, message.group, event)
-            case Received(sender=sender, message=Forward() as message):
+            case MessageReceived(sender=sender, message=ForwardedCall() as message):
                 effects += self._forwarded(now, wall, sender, message)
-            case Received(sender=sender, message=Reply() as message):
+            case MessageReceived(sender=sender, message=ForwardedReply() as message):
                 effects += self._replied(now, wall, sender, message)
-            case Received(sender=sender, message=Ping() | Ack() | PingFor() | Nack() as message):
+            case MessageReceived(sender=sender, message=Ping() | Ack() | PingRequest() | Nack() as message):
                 if isinstance(message, Ping | Ack) and message.wall > 0.0:
                     self._clocks(sender, message.wall - raw)
                 effects += self._gossip(raw, self.membership.handle(now, event))
                 self.due = min(self.due, self.membership.due)
-            case Received(message=WhoAreYou() | IAm() | Found()):
+            case MessageReceived(message=IdentityQuery() | Announce() | ClusterFounded()):
                 effects += self._founded(now, event)
-            case Stored(group=group):
+            case RecordsPersisted(group=group):
                 if group == FOUNDING:
                     effects += self._founded(now, event)
                 elif group in self.replicas:
                     effects += self._feed(now, group, event)
-            case StoreBroke(error=error):
+            case StorageFailure(error=error):
                 self._broken = self._broken or error
-                effects.append(Say("error", "promises nothing more", {"error": str(error)}))
+                effects.append(LogEvent("error", "promises nothing more", {"error": str(error)}))
                 effects += self._founded(now, event)
                 for group in self.replicas:
                     effects += self._feed(now, group, event)
-            case Call(token=token, command=command):
-                effects += self._ask(now, wall, command, lambda at, result: [Done(token, result)])
-            case Leave(token=token):
+            case ClusterCall(token=token, command=command):
+                effects += self._ask(
+                    now, wall, command, lambda at, result: [OperationCompleted(token, result)]
+                )
+            case LeaveCluster(token=token):
                 self._leaving = token, now + 2 * self._timings.election_ms
                 effects += self._gossip(raw, self.membership.leave(now))
                 for group, replica in self.replicas.items():
                     if replica.leading:
-                        effects += self._feed(now, group, HandOver())
+                        effects += self._feed(now, group, TransferLeadership())
             case Tick():
                 pass
         if isinstance(event, Tick) or now >= self.due or self._leaving is not None:
             effects += self._tick(now, raw, raw + self.ahead)
         return effects
 
-    def _clocks(self, sender: Id, ahead: float) -> None:
+    def _clocks(self, sender: MemberId, ahead: float) -> None:
         """Another's wall clock is so far ahead of this one's: the fleet goes by the clock in the middle.
 
         One that was set wrong, or a machine that started with it, must not carry the groups' time away.
         """
-        if name_of(sender) in self._halls:
-            self._ahead[name_of(sender)] = ahead
+        if member_name(sender) in self._halls:
+            self._ahead[member_name(sender)] = ahead
             middle = sorted([0.0, *self._ahead.values()])
             self.ahead = middle[
                 (len(middle) - 1) // 2
@@ -290,16 +292,18 @@
             self._timed = 2 * len(middle) > len(self._halls)
 
     @staticmethod
-    def _gossip(raw: float, effects: Iterable[Send | Say]) -> list[Effect]:
+    def _gossip(raw: float, effects: Iterable[SendMessage | LogEvent]) -> list[Effect]:
         """What membership sends, with this machine's clock in it."""
         return [
-            Send(effect.to, msgspec.structs.replace(effect.message, wall=raw))
-            if isinstance(effect, Send) and isinstance(effect.message, Ping | Ack)
+            SendMessage(effect.to, msgspec.structs.replace(effect.message, wall=raw))
+            if isinstance(effect, SendMessage) and isinstance(effect.message, Ping | Ack)
             else effect
             for effect in effects
         ]
 
-    def _founded(self, now: float, event: Tick | Received | Stored | StoreBroke) -> list[Effect]:
+    def _founded(
+        self, now: float, event: Tick | MessageReceived | RecordsPersisted | StorageFailure
+    ) -> list[Effect]:
         known = self.founding.record
         effects: list[Effect] = list(self.founding.handle(now, event))
         self.due = min(self.due, self.founding.due)
@@ -341,7 +345,7 @@
                 if replica.leading and self._leaving is None:
                     effects += self._work(now, wall, group, replica)
                     if self.lead_nothing:
-                        effects += self._feed(now, group, HandOver())
+                        effects += self._feed(now, group, TransferLeadership())
             if self._places_at <= now:
                 self._places_at = self._next(now, PLACES_MS)
                 if not self._well():
@@ -362,7 +366,7 @@
                 replica.leading and len(replica.config.voters) > 1 for replica in self.replicas.values()
             ):
                 self._leaving = None
-                effects.append(Done(token, None))
+                effects.append(OperationCompleted(token, None))
         self.due = min(
             [
                 self._work_at,
@@ -378,9 +382,9 @@
 
     @staticmethod
     def _holder_answer(
-        holder: Holder, command: Command
-    ) -> Callable[[float, Applied | FleetError], list[Effect]]:
-        def answer(now: float, result: Applied | FleetError) -> list[Effect]:
+        holder: LeaseClient, command: Command
+    ) -> Callable[[float, ApplyResult | ClusterError], list[Effect]]:
+        def answer(now: float, result: ApplyResult | ClusterError) -> list[Effect]:
             holder.answered(now, command, result)
             return []
 
@@ -397,16 +401,16 @@
         now: float,
         wall: float,
         command: Command,
-        answer: Callable[[float, Applied | FleetError], list[Effect]],
+        answer: Callable[[float, ApplyResult | ClusterError], list[Effect]],
     ) -> list[Effect]:
         """Make a call: it is answered once, within `call_ms`."""
         problem = command.fault()
         if problem:
-            return answer(now, BadCall(command.id, problem))
+            return answer(now, InvalidCall(command.id, problem))
         if self.founding.record is None:
             return answer(now, NoLeader(self.setup.fleet, "the fleet is not founded yet"))
         if len(self._calls) >= MOST_CALLS:
-            return answer(now, Crowded(self.me, f"{MOST_CALLS} calls have no answer yet"))
+            return answer(now, Overloaded(self.me, f"{MOST_CALLS} calls have no answer yet"))
         group = group_of(command.key(), self.founding.record.groups)
         token = self._token()
         call = self._calls[token] = _Call(command, group, now + self._timings.call_ms, answer, now)
@@ -436,28 +440,30 @@
         call.open[call.tries] = None
         return call.tries
 
-    def _forward(self, wall: float, token: str, call: _Call, to: Id) -> list[Effect]:
+    def _forward(self, wall: float, token: str, call: _Call, to: MemberId) -> list[Effect]:
         return [
-            Send(
+            SendMessage(
                 to,
-                Forward(f"{token}.{self._number(call)}", call.group, encode(wall, call.command), MOST_HOPS),
+                ForwardedCall(
+                    f"{token}.{self._number(call)}", call.group, encode(wall, call.command), MOST_HOPS
+                ),
             )
         ]
 
     @staticmethod
-    def _final(call: _Call, result: Applied | FleetError) -> Applied | FleetError:
+    def _final(call: _Call, result: ApplyResult | ClusterError) -> ApplyResult | ClusterError:
         """What the caller is told: that nothing was taken, only where that is known of every try.
 
         An answer out of the log speaks for all tries that were answered before: what they left in it stands
         before.
         """
-        refused = isinstance(result, FleetError) or result.error is not None
-        maybe = call.open or (call.maybe and isinstance(result, FleetError))
+        refused = isinstance(result, ClusterError) or result.error is not None
+        maybe = call.open or (call.maybe and isinstance(result, ClusterError))
         if refused and maybe and not call.command.reads:
             return UnknownOutcome(call.group, "no answer came to some try")
         return result
 
-    def _leader(self, group: str, round_: int) -> Id:
+    def _leader(self, group: str, round_: int) -> MemberId:
         """Whom to ask: the leader as this member's replica knows it, as last heard, else one copy after
         the other."""
         replica = self.replicas.get(group)
@@ -465,19 +471,19 @@
             return replica.leader
         if round_ == 1 and self._routes.get(group) in self.membership.alive():
             return self._routes[group]
-        alive = {name_of(who): who for who in self.membership.alive() if who != self.me}
-        others = [alive[name] for who in self._placed.get(group, ()) if (name := name_of(who)) in alive]
+        alive = {member_name(who): who for who in self.membership.alive() if who != self.me}
+        others = [alive[name] for who in self._placed.get(group, ()) if (name := member_name(who)) in alive]
         if not others or round_ % 4 >= 2:  # copies may have moved since this member last heard: whoever lives
             others = sorted(alive.values())
         return others[round_ % len(others)] if others else ""
 
-    def _end(self, now: float, token: str, number: int, result: Applied | FleetError) -> list[Effect]:
+    def _end(self, now: float, token: str, number: int, result: ApplyResult | ClusterError) -> list[Effect]:
         """What became of a try."""
         call = self._calls.get(token)
         if call is None:
             return []  # it had its answer, or its time
         call.open.pop(number, None)
-        if isinstance(result, NoLeader | Crowded | UnknownOutcome | StoreFailed | InvariantBroken):
+        if isinstance(result, NoLeader | Overloaded | UnknownOutcome | StorageFailed | InvariantBroken):
             # It is made again: its id, or the order that it states, makes a repeat of what was taken
             # harmless, and where a leader can promise nothing any more there will be another one.
             call.last = result
@@ -490,10 +496,10 @@
             return []
         if (
             call.open
-            and (isinstance(result, FleetError) or result.error is not None)
+            and (isinstance(result, ClusterError) or result.error is not None)
             and not call.command.reads
         ):
-            call.last = result if isinstance(result, FleetError) else result.error
+            call.last = result if isinstance(result, ClusterError) else result.error
             call.again = call.until  # another try of it is on its way and may yet be taken: its answer tells
             return []
         del self._calls[token]
@@ -505,7 +511,7 @@
         wall: float,
         group: str,
         command: Command,
-        answer: Callable[[float, Applied | FleetError], list[Effect]],
+        answer: Callable[[float, ApplyResult | ClusterError], list[Effect]],
     ) -> list[Effect]:
         """Let the replica here, which leads, carry a command out."""
         token = self._token()
@@ -515,27 +521,27 @@
 
         self._ours[token] = looked if command.reads else answer
         if command.reads:
-            return self._feed(now, group, Read(token))
+            return self._feed(now, group, ReadIndexRequest(token))
         # Until a majority's clocks were heard the group's time stands still: this machine's may be anywhere.
-        return self._feed(now, group, Propose(token, encode(wall if self._timed else 0.0, command)))
+        return self._feed(now, group, ProposeCommand(token, encode(wall if self._timed else 0.0, command)))
 
-    def _forwarded(self, now: float, wall: float, sender: Id, message: Forward) -> list[Effect]:
+    def _forwarded(self, now: float, wall: float, sender: MemberId, message: ForwardedCall) -> list[Effect]:
         """A call of another member."""
 
-        def reply(at: float, result: Applied | FleetError) -> list[Effect]:
+        def reply(at: float, result: ApplyResult | ClusterError) -> list[Effect]:
             leader = self.replicas[message.group].leader if message.group in self.replicas else ""
             body = msgspec.msgpack.encode(
-                [result, None, leader] if isinstance(result, Applied) else [None, result, leader]
+                [result, None, leader] if isinstance(result, ApplyResult) else [None, result, leader]
             )
-            return [Send(sender, Reply(message.token, body))]
+            return [SendMessage(sender, ForwardedReply(message.token, body))]
 
         try:
             _, command = decode(message.body)
         except msgspec.DecodeError as fault:
-            return reply(now, BadCall(message.group, str(fault)))
+            return reply(now, InvalidCall(message.group, str(fault)))
         problem = command.fault()
         if problem:
-            return reply(now, BadCall(command.id, problem))
+            return reply(now, InvalidCall(command.id, problem))
         replica = self.replicas.get(message.group)
         if replica is None:
             return reply(now, NoLeader(message.group, f"no copy at {self.setup.me}"))
@@ -543,7 +549,7 @@
             return self._take(now, wall, message.group, command, reply)
         return reply(now, NoLeader(message.group, f"not led by {self.setup.me}"))
 
-    def _replied(self, now: float, wall: float, sender: Id, message: Reply) -> list[Effect]:
+    def _replied(self, now: float, wall: float, sender: MemberId, message: ForwardedReply) -> list[Effect]:
         token, _, digits = message.token.rpartition(".")
         call = self._calls.get(token)
         if call is None or not digits.isdecimal():
@@ -568,7 +574,7 @@
 
     # A leader's work ----------------------------------------------------------------------------------------
 
-    def _view(self, now: float, wall: float, replica: Replica) -> View:
+    def _view(self, now: float, wall: float, replica: RaftNode) -> LeaderView:
         """What the parts of a group led here may look at."""
         places, load = self._places, self.load
         if replica.group == FLEET:
@@ -581,7 +587,7 @@
         for group, made in self.replicas.items():
             if made.leading:
                 behind[group] = made.behind() + self._late(now, group, made)
-        return View(
+        return LeaderView(
             now,
             wall,
             self.me,
@@ -595,12 +601,12 @@
             behind,
         )
 
-    def _living(self) -> frozenset[Id]:
+    def _living(self) -> frozenset[MemberId]:
         """Whom this process has heard since its start, and does not believe dead: one just started knows
         of nobody."""
         return frozenset(who for who in self.membership.alive() if who == self.me or who in self._met)
 
-    def _work(self, now: float, wall: float, group: str, replica: Replica) -> list[Effect]:
+    def _work(self, now: float, wall: float, group: str, replica: RaftNode) -> list[Effect]:
         """What the leader of a group has to see to."""
         effects: list[Effect] = []
         state = self.states[group]
@@ -613,12 +619,12 @@
                 effects += self._ask(now, wall, command, self._worked(command))
         return effects
 
-    def _limits(self, group: str, state: GroupState) -> list[Command]:
+    def _limits(self, group: str, state: GroupStateMachine) -> list[Command]:
         """Servers whose limit the group does not know as this gateway does."""
         assert self.founding.record is not None
         known, idle = state.parts["connections"].servers, self.setup.idle_ms
         return [
-            Limit(
+            SetConnectionLimit(
                 id=f"limit/{server}/{most}/{known[server].parts.whole if server in known else 0:g}/{state.index}",
                 server=server,
                 most=most,
@@ -629,8 +635,8 @@
             and group_of(bucket(server), self.founding.record.groups) == group
         ]
 
-    def _worked(self, command: Command) -> Callable[[float, Applied | FleetError], list[Effect]]:
-        def answer(now: float, result: Applied | FleetError) -> list[Effect]:
+    def _worked(self, command: Command) -> Callable[[float, ApplyResult | ClusterError], list[Effect]]:
+        def answer(now: float, result: ApplyResult | ClusterError) -> list[Effect]:
             self._working.pop(command.id, None)
             return []
 
@@ -645,11 +651,11 @@
         self._heard_at = now + HEARD_MS
         self._reading, self._read_at = True, now
 
-        def read(at: float, result: Applied | FleetError) -> list[Effect]:
+        def read(at: float, result: ApplyResult | ClusterError) -> list[Effect]:
             self._reading = False
-            if not isinstance(result, Applied) or result.error is not None:
+            if not isinstance(result, ApplyResult) or result.error is not None:
                 return []
-            self._places = Placing(self._timings, self.rules)
+            self._places = PlacementDirectory(self._timings, self.rules)
             self._places.load(result.value["state"])
             self._placed = self._places.voters()
             self.membership.know(at, (who for who, _ in self._places.members.values()))
@@ -661,7 +667,7 @@
                         self._places_at = min(self._places_at, at + SOON_MS)
             return effects
 
-        return self._ask(now, wall, Places(id=self._token()), read)
+        return self._ask(now, wall, ReadPlacement(id=self._token()), read)
 
     def _well(self) -> bool:
         """Whether all known members live, nothing moves, and nobody is behind: as last read, and in groups
@@ -676,7 +682,7 @@
             )
         )
 
-    def _late(self, now: float, group: str, replica: Replica) -> tuple[Id, ...]:
+    def _late(self, now: float, group: str, replica: RaftNode) -> tuple[MemberId, ...]:
         """Voters that have long not caught up: not each lag is an entry in the fleet's log.  A leader that
         has only just begun knows of none how long; it counts those of whom it has not heard yet."""
         lagging = replica.lagging()
@@ -686,7 +692,7 @@
             who for who in lagging if now - self._lags.setdefault((group, who), now) >= LATE_MS or fresh
         )
 
-    def _members(self, now: float, wall: float, group: str, replica: Replica) -> list[Effect]:
+    def _members(self, now: float, wall: float, group: str, replica: RaftNode) -> list[Effect]:
         """One step of a change of members, or the report of how they stand."""
         if replica.commit < replica.config_index:
             return []
@@ -701,7 +707,7 @@
             self._working[report.id] = None
             return self._ask(now, wall, report, self._worked(report))
         if step.act == "remove" and step.who == self.me:
-            return self._feed(now, group, HandOver())
+            return self._feed(now, group, TransferLeadership())
         token = self._token()
         self._changing[group] = None
 
--- a/badgeryoke/cluster/node_setup.py
+++ b/badgeryoke/cluster/node_setup.py
@@ -5,9 +5,9 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from badgeryoke.cluster.errors import FleetError
-from badgeryoke.cluster.messages import Id
-from badgeryoke.cluster.state_machine.part import Applied, Command
+from badgeryoke.cluster.errors import ClusterError
+from badgeryoke.cluster.messages import MemberId
+from badgeryoke.cluster.state_machine.part import ApplyResult, Command
 from badgeryoke.cluster.timings import Timings
 
 FOUNDING = ""  # the group under which a store keeps the founding record, as a Snapshot's body
@@ -23,7 +23,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Setup:
+class NodeSetup:
     """What a node is told at its start."""
 
     fleet: str
@@ -38,17 +38,17 @@
     idle_ms: float = 30_000.0  # so long after its last use a server has closed a connection for sure
 
     @property
-    def id(self) -> Id:
+    def id(self) -> MemberId:
         """This member as it is now."""
         return f"{self.me}/{self.incarnation}"
 
 
-class Holder(Protocol):
+class LeaseClient(Protocol):
     """This gateway's side of leases: asks for them, and knows when they end.  One that has a figure `due`,
     ms, is polled by then, if that is before its usual time."""
 
     def poll(self, now: float, wall: float) -> list[Command]:
         """Calls to make now; one at a time for each key."""
 
-    def answered(self, now: float, command: Command, result: Applied | FleetError) -> None:
+    def answered(self, now: float, command: Command, result: ApplyResult | ClusterError) -> None:
         """What became of a call of this holder."""
--- a/badgeryoke/cluster/placement/directory.py
+++ b/badgeryoke/cluster/placement/directory.py
@@ -25,13 +25,13 @@
 import msgspec
 import xxhash
 
-from badgeryoke.cluster.bootstrap import MOST_MEMBERS, Record
-from badgeryoke.cluster.errors import BadCall, Crowded, NotThere, StaleIncarnation, WrongState
-from badgeryoke.cluster.events import Change, Saved
+from badgeryoke.cluster.bootstrap import MOST_MEMBERS, BootstrapRecord
+from badgeryoke.cluster.errors import InvalidCall, NotFound, Overloaded, StaleIncarnation, WrongState
+from badgeryoke.cluster.events import ChangeMembership, PersistedGroup
 from badgeryoke.cluster.invariants import Invariants, Rule
-from badgeryoke.cluster.messages import CONFIG, NOTHING, Config, Entry, Id, name_of
-from badgeryoke.cluster.raft.log import Log, encode_config
-from badgeryoke.cluster.state_machine.part import FLEET, Applied, Command, View
+from badgeryoke.cluster.messages import CONFIG, NOTHING, GroupConfiguration, LogEntry, MemberId, member_name
+from badgeryoke.cluster.raft.log import RaftLog, encode_config
+from badgeryoke.cluster.state_machine.part import FLEET, ApplyResult, Command, LeaderView
 from badgeryoke.cluster.timings import Timings
 
 LONGEST_NAME = 64
@@ -63,15 +63,15 @@
     return most if most % 2 or most == 2 else most - 1
 
 
-def first_placing(record: Record) -> dict[str, tuple[Id, ...]]:
+def first_placing(record: BootstrapRecord) -> dict[str, tuple[MemberId, ...]]:
     """Voters of each group at the founding: a hall that has none yet first, then who holds least; hashing
     breaks ties.
 
     Within a hall nobody holds over one group more than another that could have taken it."""
-    count, load = copies_for(record.copies, len(record.members)), Counter[Id]()
-    placed: dict[str, tuple[Id, ...]] = {}
+    count, load = copies_for(record.copies, len(record.members)), Counter[MemberId]()
+    placed: dict[str, tuple[MemberId, ...]] = {}
     for group in (FLEET, *(f"g{at}" for at in range(record.groups))):
-        chosen: list[Id] = []
+        chosen: list[MemberId] = []
         halls: set[str] = set()
         for _ in range(count):
             who, hall = min(
@@ -89,27 +89,27 @@
 # ------------------------------------------------------------------------------
 
 
-class Enrol(Command, frozen=True, tag="Enrol"):
+class EnrolMember(Command, frozen=True, tag="Enrol"):
     """An Id is its name's present one."""
 
     name: str
-    who: Id
+    who: MemberId
     hall: str
 
     def fault(self) -> str:
         if not 1 <= len(self.name) <= LONGEST_NAME or len(self.hall) > LONGEST_NAME:
             return f"name, hall: expected up to {LONGEST_NAME} letters"
-        if name_of(self.who) != self.name or not len(self.name) + 1 < len(self.who) <= 2 * LONGEST_NAME:
+        if member_name(self.who) != self.name or not len(self.name) + 1 < len(self.who) <= 2 * LONGEST_NAME:
             return f"who: expected {self.name}/INCARNATION"
         return ""
 
 
-class Replace(Command, frozen=True, tag="Replace"):
+class ReplaceReplica(Command, frozen=True, tag="Replace"):
     """Begin a move: `new` for `lost`; one of them may be empty.  `most` moves may be under way with it."""
 
     group: str
-    lost: Id
-    new: Id
+    lost: MemberId
+    new: MemberId
     most: int
 
     def fault(self) -> str:
@@ -118,111 +118,111 @@
         return "" if self.most >= 1 else "most: expected 1 at the least"
 
 
-class Moved(Command, frozen=True, tag="Moved"):
+class ReplicaMoved(Command, frozen=True, tag="Moved"):
     """A group's voters, as its leader has them committed; `number`: the index of that configuration in its
     log."""
 
     group: str
-    voters: tuple[Id, ...]
+    voters: tuple[MemberId, ...]
     number: int
-    behind: tuple[Id, ...] = ()  # voters that have not caught up
+    behind: tuple[MemberId, ...] = ()  # voters that have not caught up
 
     def fault(self) -> str:
         return "" if 1 <= len(self.voters) <= 16 and self.number >= 0 else "voters, number: out of bounds"
 
 
-class Forgo(Command, frozen=True, tag="Forgo"):
+class CancelMove(Command, frozen=True, tag="Forgo"):
     """Give a move up."""
 
     group: str
-    new: Id
+    new: MemberId
     why: str
 
 
-class Places(Command, frozen=True, tag="Places"):
+class ReadPlacement(Command, frozen=True, tag="Places"):
     """Read who copies what."""
 
     reads = True
 
 
-COMMANDS: tuple[type[Command], ...] = (Enrol, Replace, Moved, Forgo, Places)
+COMMANDS: tuple[type[Command], ...] = (EnrolMember, ReplaceReplica, ReplicaMoved, CancelMove, ReadPlacement)
 
 
-class Move(msgspec.Struct, frozen=True, array_like=True):
+class ReplicaMove(msgspec.Struct, frozen=True, array_like=True):
     """A copy on its way, since when by the group's time (Unix ms)."""
 
-    lost: Id
-    new: Id
+    lost: MemberId
+    new: MemberId
     since: float = 0.0
 
 
-class Held(msgspec.Struct, frozen=True, array_like=True):
+class GroupPlacement(msgspec.Struct, frozen=True, array_like=True):
     """A group, as its leader last reported it."""
 
-    voters: tuple[Id, ...]
+    voters: tuple[MemberId, ...]
     number: int = 0
-    behind: tuple[Id, ...] = ()
+    behind: tuple[MemberId, ...] = ()
     reports: int = 0
 
 
-class Placing:
+class PlacementDirectory:
     """Who copies which group.  Empty until `begin` or `load`."""
 
     def __init__(self, timings: Timings, rules: Invariants) -> None:
         self._timings, self._rules = timings, rules
         self.copies = 0  # as the founding record asks for
-        self.members: dict[str, tuple[Id, str]] = {}  # by name: its present Id, and its hall
-        self.past: dict[str, list[Id]] = {}  # by name: Ids that are lost for good
-        self.groups: dict[str, Held] = {}
-        self.moves: dict[str, Move] = {}  # by group
+        self.members: dict[str, tuple[MemberId, str]] = {}  # by name: its present Id, and its hall
+        self.past: dict[str, list[MemberId]] = {}  # by name: Ids that are lost for good
+        self.groups: dict[str, GroupPlacement] = {}
+        self.moves: dict[str, ReplicaMove] = {}  # by group
         self.begun = 0  # moves ever begun
-        self.slow: dict[Id, int] = {}  # who did not catch up in time, and in which move
+        self.slow: dict[MemberId, int] = {}  # who did not catch up in time, and in which move
         # When this machine's own clock saw them first, never dumped: a stepped wall clock must not time them.
-        self._since: dict[tuple[str, Id], float] = {}  # a group's move, by its newcomer
-        self._slow_since: dict[tuple[Id, int], float] = {}
+        self._since: dict[tuple[str, MemberId], float] = {}  # a group's move, by its newcomer
+        self._slow_since: dict[tuple[MemberId, int], float] = {}
 
-    def begin(self, record: Record) -> None:
+    def begin(self, record: BootstrapRecord) -> None:
         """As founded: the same at every copy, before any entry is applied.  Changes nothing where there is
         state."""
         if self.groups:
             return
         self.copies = record.copies
-        self.members = {name_of(who): (who, hall) for who, hall in record.members}
-        self.groups = {group: Held(voters) for group, voters in first_placing(record).items()}
+        self.members = {member_name(who): (who, hall) for who, hall in record.members}
+        self.groups = {group: GroupPlacement(voters) for group, voters in first_placing(record).items()}
 
     # The log
     # ---------------------------------------------------------------------------------------------------------
 
-    def apply(self, at_ms: float, command: Any) -> Applied:
+    def apply(self, at_ms: float, command: Any) -> ApplyResult:
         """Take a command in."""
         problem = command.fault()
         if problem:
-            return Applied(error=BadCall(command.id, problem))
-        if isinstance(command, Enrol):
+            return ApplyResult(error=InvalidCall(command.id, problem))
+        if isinstance(command, EnrolMember):
             return self._enrol(command)
         held = self.groups.get(command.group)
         if held is None:
-            return Applied(error=NotThere(command.group, "no such group"))
-        if isinstance(command, Replace):
+            return ApplyResult(error=NotFound(command.group, "no such group"))
+        if isinstance(command, ReplaceReplica):
             return self._replace(at_ms, command, held)
-        if isinstance(command, Moved):
+        if isinstance(command, ReplicaMoved):
             return self._moved(command, held)
         move = self.moves.get(command.group)
         if move is None or move.new != command.new:
-            return Applied(error=WrongState(command.group, "no such move is under way"))
+            return ApplyResult(error=WrongState(command.group, "no such move is under way"))
         del self.moves[command.group]
         if (
             command.new and command.why == SLOW
         ):  # one that was lost meanwhile is as good as any when it is back
             self.slow[command.new] = self.begun
-        return Applied("forgone")
+        return ApplyResult("forgone")
 
-    def _enrol(self, command: Enrol) -> Applied:
+    def _enrol(self, command: EnrolMember) -> ApplyResult:
         known = self.members.get(command.name)
         if command.who in self.past.get(command.name, ()):
-            return Applied(error=StaleIncarnation(command.who, "a later one is enrolled"))
+            return ApplyResult(error=StaleIncarnation(command.who, "a later one is enrolled"))
         if known is None and len(self.members) >= MOST_MEMBERS:
-            return Applied(error=Crowded(command.who, f"{MOST_MEMBERS} members are enrolled"))
+            return ApplyResult(error=Overloaded(command.who, f"{MOST_MEMBERS} members are enrolled"))
         if known is not None and known[0] != command.who:
             self.slow.pop(known[0], None)
             self.past[command.name] = [*self.past.get(command.name, ()), known[0]][-MOST_PAST:]
@@ -230,30 +230,32 @@
                 if known[0] not in self.groups[group].voters:  # it was to come in and is no more
                     del self.moves[group]
         self.members[command.name] = command.who, command.hall
-        return Applied("enrolled")
+        return ApplyResult("enrolled")
 
-    def _replace(self, at_ms: float, command: Replace, held: Held) -> Applied:
+    def _replace(self, at_ms: float, command: ReplaceReplica, held: GroupPlacement) -> ApplyResult:
         if command.group in self.moves:
-            return Applied(error=WrongState(command.group, "a move is under way"))
+            return ApplyResult(error=WrongState(command.group, "a move is under way"))
         if len(self.moves) >= command.most:
-            return Applied(error=Crowded(command.group, f"{len(self.moves)} moves are under way"))
+            return ApplyResult(error=Overloaded(command.group, f"{len(self.moves)} moves are under way"))
         if command.lost and command.lost not in held.voters:
-            return Applied(error=NotThere(command.lost, f"no voter of {command.group}"))
+            return ApplyResult(error=NotFound(command.lost, f"no voter of {command.group}"))
         if command.new and (command.new in held.voters or not self._present(command.new)):
-            return Applied(
+            return ApplyResult(
                 error=WrongState(command.new, f"a voter of {command.group} already, or not enrolled")
             )
         if not command.new and len(held.voters) <= 1:
-            return Applied(error=WrongState(command.group, "its last voter"))
-        self.moves[command.group] = Move(command.lost, command.new, at_ms)
+            return ApplyResult(error=WrongState(command.group, "its last voter"))
+        self.moves[command.group] = ReplicaMove(command.lost, command.new, at_ms)
         self.begun += 1
         self._rules.check(Rule.CONFIG_ONE, len(self.moves) <= command.most, lambda: f"{self.moves}")
-        return Applied("begun")
+        return ApplyResult("begun")
 
-    def _moved(self, command: Moved, held: Held) -> Applied:
+    def _moved(self, command: ReplicaMoved, held: GroupPlacement) -> ApplyResult:
         if command.number < held.number:
-            return Applied(error=WrongState(command.group, "a later report is known"))
-        self.groups[command.group] = Held(command.voters, command.number, command.behind, held.reports + 1)
+            return ApplyResult(error=WrongState(command.group, "a later report is known"))
+        self.groups[command.group] = GroupPlacement(
+            command.voters, command.number, command.behind, held.reports + 1
+        )
         move = self.moves.get(command.group)
         if (
             move is not None
@@ -261,11 +263,11 @@
             and (not move.new or move.new in command.voters)
         ):
             del self.moves[command.group]
-        return Applied("noted")
+        return ApplyResult("noted")
 
-    def look(self, command: Any) -> Applied:
+    def look(self, command: Any) -> ApplyResult:
         """For operators: groups with voters, moves, and who is enrolled."""
-        return Applied(
+        return ApplyResult(
             {
                 "members": {name: {"id": who, "hall": hall} for name, (who, hall) in self.members.items()},
                 "groups": {
@@ -298,12 +300,12 @@
                 raw,
                 tuple[
                     int,
-                    dict[str, tuple[Id, str]],
-                    dict[str, list[Id]],
-                    dict[str, Held],
-                    dict[str, Move],
+                    dict[str, tuple[MemberId, str]],
+                    dict[str, list[MemberId]],
+                    dict[str, GroupPlacement],
+                    dict[str, ReplicaMove],
                     int,
-                    dict[Id, int],
+                    dict[MemberId, int],
                 ],
             )
         )
@@ -312,11 +314,11 @@
     # What it says
     # ----------------------------------------------------------------------------------------------------
 
-    def voters(self) -> dict[str, tuple[Id, ...]]:
+    def voters(self) -> dict[str, tuple[MemberId, ...]]:
         """Of each group, as last reported."""
         return {group: held.voters for group, held in self.groups.items()}
 
-    def holds(self, who: Id) -> list[str]:
+    def holds(self, who: MemberId) -> list[str]:
         """Groups that an Id copies or is to copy."""
         return [
             group
@@ -324,11 +326,11 @@
             if who in held.voters or (group in self.moves and self.moves[group].new == who)
         ]
 
-    def _present(self, who: Id) -> bool:
-        known = self.members.get(name_of(who))
+    def _present(self, who: MemberId) -> bool:
+        known = self.members.get(member_name(who))
         return known is not None and known[0] == who
 
-    def missing(self, view: View) -> list[str]:
+    def missing(self, view: LeaderView) -> list[str]:
         """What keeps the copies from being whole (COPIES_WHOLE), a line each; empty: every group has its
         copies, all present, alive and caught up, and nothing is on its way."""
         want = copies_for(self.copies, len(self.members))
@@ -352,8 +354,8 @@
         return lines
 
     def wanted(
-        self, group: str, config: Config, behind: tuple[Id, ...], alive: frozenset[Id]
-    ) -> Change | None:
+        self, group: str, config: GroupConfiguration, behind: tuple[MemberId, ...], alive: frozenset[MemberId]
+    ) -> ChangeMembership | None:
         """The next change that the group's leader makes, given its committed configuration, the learners
         that have not caught up, and who lives.  None: nothing is to be done, or not yet.  Where the one to
         remove is the leader itself it hands over first."""
@@ -367,11 +369,13 @@
             len(set(voters) ^ set(config.voters)) <= 1,
             lambda: f"{group}: {config.voters} to {voters}",
         )
-        if act != "learn" and sum(one in alive for one in voters) < Config(voters).majority():
+        if act != "learn" and sum(one in alive for one in voters) < GroupConfiguration(voters).majority():
             return None  # it could acknowledge nothing with that
-        return Change(f"{act}:{group}:{who}", act, who)
+        return ChangeMembership(f"{act}:{group}:{who}", act, who)
 
-    def _next(self, group: str, config: Config, behind: tuple[Id, ...]) -> tuple[str, Id] | None:
+    def _next(
+        self, group: str, config: GroupConfiguration, behind: tuple[MemberId, ...]
+    ) -> tuple[str, MemberId] | None:
         move = self.moves.get(group)
         new = move.new if move is not None else ""
         for who in config.learners:
@@ -385,14 +389,16 @@
             return None if new in behind else ("promote", new)
         return ("remove", move.lost) if move.lost in config.voters else None
 
-    def report(self, group: str, config: Config, number: int, behind: tuple[Id, ...] = ()) -> Moved | None:
+    def report(
+        self, group: str, config: GroupConfiguration, number: int, behind: tuple[MemberId, ...] = ()
+    ) -> ReplicaMoved | None:
         """What the group's leader has to report of its committed configuration; None where it is known.
         `behind`: voters that have long not caught up (a second or more), so that each lag is not an entry."""
         held = self.groups.get(group)
         behind = tuple(who for who in config.voters if who in behind)
         if held is None or number < held.number or (held.voters, held.behind) == (config.voters, behind):
             return None
-        return Moved(
+        return ReplicaMoved(
             id=f"moved:{group}:{number}:{held.reports}:{'+'.join(behind)}",
             group=group,
             voters=config.voters,
@@ -403,15 +409,15 @@
     # The leader's work
     # -----------------------------------------------------------------------------------------------
 
-    def work(self, view: View) -> list[Command]:
+    def work(self, view: LeaderView) -> list[Command]:
         """Enrol who came, give up what cannot end, then repair; even out only when nothing else is wrong."""
         if not self.groups:
             return []
         made: list[Command] = []
         for who in sorted(view.alive):
-            name = name_of(who)
+            name = member_name(who)
             if not self._present(who) and name in view.halls and who not in self.past.get(name, ()):
-                made.append(Enrol(id=f"enrol:{who}", name=name, who=who, hall=view.halls[name]))
+                made.append(EnrolMember(id=f"enrol:{who}", name=name, who=who, hall=view.halls[name]))
         made += self._forgo(view)
         if made:
             return made  # what follows looks at the state that comes of it
@@ -427,8 +433,8 @@
             made.append(self._begin(view, 0, *move))
         return made
 
-    def _begin(self, view: View, at: int, group: str, lost: Id, new: Id) -> Replace:
-        return Replace(
+    def _begin(self, view: LeaderView, at: int, group: str, lost: MemberId, new: MemberId) -> ReplaceReplica:
+        return ReplaceReplica(
             id=f"replace:{group}:{lost}:{new}:{self.begun + at}",
             group=group,
             lost=lost,
@@ -436,23 +442,23 @@
             most=view.timings.repair_at_once,
         )
 
-    def _lost(self, view: View, who: Id) -> bool:
+    def _lost(self, view: LeaderView, who: MemberId) -> bool:
         """For good, or for longer than a copy is waited for."""
         dead = view.dead_for
         return not self._present(who) or (
             who not in view.alive
-            and dead.get(who, dead.get(name_of(who) + "/", 0.0)) >= view.timings.repair_after_ms
+            and dead.get(who, dead.get(member_name(who) + "/", 0.0)) >= view.timings.repair_after_ms
         )
 
-    def _acts(self, view: View, held: Held) -> bool:
+    def _acts(self, view: LeaderView, held: GroupPlacement) -> bool:
         """Whether the group has a living majority: otherwise it can take nobody in, and must not block
         others."""
         return (
             sum(self._present(who) and who in view.alive for who in held.voters)
-            >= Config(held.voters).majority()
+            >= GroupConfiguration(held.voters).majority()
         )
 
-    def _forgo(self, view: View) -> list[Command]:
+    def _forgo(self, view: LeaderView) -> list[Command]:
         found: list[Command] = []
         for group, move in self.moves.items():
             held = self.groups[group]
@@ -467,29 +473,29 @@
             elif (
                 not self._acts(view, held)
                 and sum(self._lost(view, who) for who in held.voters)
-                > len(held.voters) - Config(held.voters).majority()
+                > len(held.voters) - GroupConfiguration(held.voters).majority()
             ):
                 why = "the group has lost its majority"
             else:
                 continue
             found.append(
-                Forgo(id=f"forgo:{group}:{move.new}:{self.begun}", group=group, new=move.new, why=why)
+                CancelMove(id=f"forgo:{group}:{move.new}:{self.begun}", group=group, new=move.new, why=why)
             )
         return found
 
     @staticmethod
-    def _long(view: View, since: float | None) -> bool:
+    def _long(view: LeaderView, since: float | None) -> bool:
         """Whether so much time has gone by since, of which this leader saw all."""
         return since is not None and view.now - max(since, view.lead_since) > LONGEST_MOVE_MS
 
-    def _loads(self) -> Counter[Id]:
+    def _loads(self) -> Counter[MemberId]:
         load = Counter(who for held in self.groups.values() for who in held.voters)
         for group, move in self.moves.items():
             if move.new and move.new not in self.groups[group].voters:
                 load[move.new] += 1
         return load
 
-    def _candidates(self, view: View, held: Held) -> list[tuple[Id, str]]:
+    def _candidates(self, view: LeaderView, held: GroupPlacement) -> list[tuple[MemberId, str]]:
         return [
             (who, hall)
             for who, hall in self.members.values()
@@ -498,10 +504,10 @@
             and (who not in self.slow or self._long(view, self._slow_since.get((who, self.slow[who]))))
         ]
 
-    def _repairs(self, view: View, room: int) -> list[Command]:
+    def _repairs(self, view: LeaderView, room: int) -> list[Command]:
         """Copies to make again, the group with the fewest living first, then the fleet's own."""
         want, load = copies_for(self.copies, len(self.members)), self._loads()
-        broken: list[tuple[int, bool, str, Id, bool]] = []
+        broken: list[tuple[int, bool, str, MemberId, bool]] = []
         for group, held in self.groups.items():
             if group in self.moves or not self._acts(view, held):
                 continue
@@ -519,7 +525,9 @@
             held = self.groups[group]
             new = ""
             if needs:
-                halls = {self.members[name_of(who)][1] for who in held.voters if not self._lost(view, who)}
+                halls = {
+                    self.members[member_name(who)][1] for who in held.voters if not self._lost(view, who)
+                }
                 found = min(
                     self._candidates(view, held),
                     default=None,
@@ -534,15 +542,15 @@
                 break
         return made
 
-    def _evened(self, view: View) -> tuple[str, Id, Id] | None:
+    def _evened(self, view: LeaderView) -> tuple[str, MemberId, MemberId] | None:
         """One move that serves a hall more or evens the load; each lowers a bounded sum, so that it comes
         to an end."""
         load = self._loads()
-        best: tuple[tuple[int, int], str, Id, Id] | None = None
+        best: tuple[tuple[int, int], str, MemberId, MemberId] | None = None
         for group in sorted(self.groups):
             held = self.groups[group]
-            of = {who: self.members[name_of(who)][1] for who in held.voters}
-            least: dict[str, Id] = {}
+            of = {who: self.members[member_name(who)][1] for who in held.voters}
+            least: dict[str, MemberId] = {}
             for who, hall in sorted(self._candidates(view, held), key=lambda one: (load[one[0]], one[0])):
                 least.setdefault(hall, who)
             for lost in held.voters:
@@ -555,7 +563,9 @@
         return best[1:] if best is not None else None
 
 
-def forced(saved: Saved, group: str, survivor: Id, lost: tuple[Id, ...], now: float) -> Saved:
+def forced(
+    saved: PersistedGroup, group: str, survivor: MemberId, lost: tuple[MemberId, ...], now: float
+) -> PersistedGroup:
     """A group that lost its majority for good, restarted by the operators from one copy's log as its sole
     voter.
 
@@ -567,7 +577,7 @@
     outcome was unknown, at the end of this log, are taken.  Those given up must never start again with their
     old folders.
     """
-    log = Log.load(saved)
+    log = RaftLog.load(saved)
     config = log.config
     if config is None or survivor not in config.voters or {survivor, *lost} != set(config.voters) or not lost:
         return saved
@@ -575,9 +585,11 @@
     made = [log.at(index) for index in range(log.base + 1, log.last + 1)]
     for who in lost:  # one at a time, as every change of members
         voters = tuple(one for one in voters if one != who)
-        made.append(Entry(log.base + len(made) + 1, term, CONFIG, encode_config(Config(voters))))
+        made.append(
+            LogEntry(log.base + len(made) + 1, term, CONFIG, encode_config(GroupConfiguration(voters)))
+        )
     note = msgspec.msgpack.encode(
         {"forced": group, "survivor": survivor, "lost": lost, "at_ms": math.floor(now)}
     )
-    made.append(Entry(log.base + len(made) + 1, term, NOTHING, note))
-    return Saved(term, survivor, saved.snapshot, tuple(made))
+    made.append(LogEntry(log.base + len(made) + 1, term, NOTHING, note))
+    return PersistedGroup(term, survivor, saved.snapshot, tuple(made))
--- a/badgeryoke/cluster/raft/log.py
+++ b/badgeryoke/cluster/raft/log.py
@@ -9,25 +9,27 @@
 
 import msgspec
 
-from badgeryoke.cluster.events import Saved
-from badgeryoke.cluster.messages import CONFIG, Config, Entry
+from badgeryoke.cluster.events import PersistedGroup
+from badgeryoke.cluster.messages import CONFIG, GroupConfiguration, LogEntry
 
-_decode = msgspec.msgpack.Decoder(Config).decode
+_decode = msgspec.msgpack.Decoder(GroupConfiguration).decode
 encode_config = msgspec.msgpack.Encoder().encode
 
 
-class Log:
+class RaftLog:
     """Entries `base + 1` to `last`.  `config` is None where nothing has told it yet: a newcomer."""
 
-    def __init__(self, base: int, term: int, config: Config | None, entries: tuple[Entry, ...] = ()) -> None:
+    def __init__(
+        self, base: int, term: int, config: GroupConfiguration | None, entries: tuple[LogEntry, ...] = ()
+    ) -> None:
         self.base, self.base_term = base, term
-        self._configs: list[tuple[int, Config | None]] = [(base, config)]
-        self._entries: list[Entry] = []
+        self._configs: list[tuple[int, GroupConfiguration | None]] = [(base, config)]
+        self._entries: list[LogEntry] = []
         for entry in entries:
             self.add(entry)
 
     @classmethod
-    def load(cls, saved: Saved) -> Log:
+    def load(cls, saved: PersistedGroup) -> RaftLog:
         """From a store; ValueError where the entries do not go on from the snapshot, or are newer than the
         term.
 
@@ -54,7 +56,7 @@
         return self.base + len(self._entries)
 
     @property
-    def config(self) -> Config | None:
+    def config(self) -> GroupConfiguration | None:
         """As of the last index."""
         return self._configs[-1][1]
 
@@ -63,7 +65,7 @@
         """Where the last configuration stands."""
         return self._configs[-1][0]
 
-    def config_at(self, index: int) -> Config | None:
+    def config_at(self, index: int) -> GroupConfiguration | None:
         """As of an index, which is `base` or behind it."""
         return next(config for at, config in reversed(self._configs) if at <= index)
 
@@ -74,11 +76,11 @@
         at = index - self.base - 1
         return self._entries[at].term if 0 <= at < len(self._entries) else 0
 
-    def at(self, index: int) -> Entry:
+    def at(self, index: int) -> LogEntry:
         """The entry there."""
         return self._entries[index - self.base - 1]
 
-    def some(self, index: int, most: int, most_bytes: int) -> tuple[Entry, ...]:
+    def some(self, index: int, most: int, most_bytes: int) -> tuple[LogEntry, ...]:
         """Entries from an index on: at most so many and so long in all, but one at the least where there
         is one."""
         at = index - self.base - 1
@@ -97,7 +99,7 @@
             index -= 1
         return index
 
-    def add(self, entry: Entry) -> None:
+    def add(self, entry: LogEntry) -> None:
         """At the end."""
         self._entries.append(entry)
         if entry.kind == CONFIG:
--- a/badgeryoke/cluster/raft/node.py
+++ b/badgeryoke/cluster/raft/node.py
@@ -31,55 +31,55 @@
 from typing import Any, Protocol
 
 from badgeryoke.cluster.errors import (
-    BadCall,
-    Crowded,
-    FleetError,
+    ClusterError,
+    InvalidCall,
     InvariantBroken,
     NoLeader,
-    NotThere,
-    StoreFailed,
+    NotFound,
+    Overloaded,
+    StorageFailed,
     UnknownOutcome,
     WrongState,
 )
 from badgeryoke.cluster.events import (
-    Change,
-    Done,
+    ChangeMembership,
+    DiscardGroup,
     Effect,
     Entries,
-    Forget,
-    HandOver,
     HardState,
-    Propose,
-    Read,
-    Received,
+    LogEvent,
+    MessageReceived,
+    OperationCompleted,
+    PersistedGroup,
+    PersistRecords,
+    ProposeCommand,
+    ReadIndexRequest,
     Record,
+    RecordsPersisted,
     ReplicaEvent,
-    Saved,
-    Say,
-    Send,
+    SendMessage,
     Snapshot,
-    Store,
-    StoreBroke,
-    Stored,
+    StorageFailure,
     Tick,
+    TransferLeadership,
 )
 from badgeryoke.cluster.invariants import Invariants, Rule
 from badgeryoke.cluster.messages import (
     COMMAND,
     CONFIG,
     NOTHING,
-    Append,
-    Appended,
-    Ask,
-    Config,
-    Entry,
-    Id,
-    Lead,
-    Piece,
-    PieceTaken,
-    Vote,
+    AppendEntries,
+    AppendEntriesReply,
+    GroupConfiguration,
+    InstallSnapshotChunk,
+    InstallSnapshotChunkReply,
+    LogEntry,
+    MemberId,
+    RequestVote,
+    RequestVoteReply,
+    TimeoutNow,
 )
-from badgeryoke.cluster.raft.log import Log, encode_config
+from badgeryoke.cluster.raft.log import RaftLog, encode_config
 from badgeryoke.cluster.timings import Timings
 
 WINDOW = 4  # batches to one member without an answer; what comes meanwhile makes the next batch
@@ -90,7 +90,15 @@
 MOST_STORES = 1024  # stores open; a leader takes no proposals then
 QUIET = 3  # beats of a leader with nothing to say, within `election_ms`
 
-Told = Ask | Vote | Append | Appended | Piece | PieceTaken | Lead
+Told = (
+    RequestVote
+    | RequestVoteReply
+    | AppendEntries
+    | AppendEntriesReply
+    | InstallSnapshotChunk
+    | InstallSnapshotChunkReply
+    | TimeoutNow
+)
 
 
 class Role(Enum):
@@ -102,7 +110,7 @@
     LEADER = "leader"
 
 
-class Machine(Protocol):
+class ReplicatedStateMachine(Protocol):
     """What the log is applied to: the same at every copy, by the entries alone."""
 
     def apply(self, now: float, index: int, body: bytes) -> Any:
@@ -116,7 +124,7 @@
 
 
 @dataclass(slots=True)
-class Peer:
+class FollowerProgress:
     """What a leader knows of another member."""
 
     next: int  # index to send next
@@ -136,7 +144,7 @@
 class _Taking:
     """A snapshot on its way here.  Goes on only from the same leader: another's bytes may differ."""
 
-    key: tuple[Id, int, int, int]  # sender, index, its term, size
+    key: tuple[MemberId, int, int, int]  # sender, index, its term, size
     body: bytearray
 
 
@@ -147,23 +155,23 @@
     seq: int
     last: int
     term: int
-    vote: Id
+    vote: MemberId
 
 
-class Replica:
+class RaftNode:
     """One copy.  `due`: when the next Tick has to come at the latest (ms, inf for never)."""
 
     def __init__(
         self,
         group: str,
-        me: Id,
-        saved: Saved,
-        machine: Machine,
+        me: MemberId,
+        saved: PersistedGroup,
+        machine: ReplicatedStateMachine,
         timings: Timings,
         draw: random.Random,
         rules: Invariants,
         now: float,
-        config: Config | None = None,
+        config: GroupConfiguration | None = None,
     ) -> None:
         """`config` counts only where `saved` is empty; ValueError where `saved` does not hold together."""
         self.group, self.me, self._machine, self._timings = group, me, machine, timings
@@ -171,15 +179,15 @@
         self.term, self.vote = saved.term, saved.vote
         self.role, self.leader = Role.FOLLOWER, ""
         self.leading, self.lead_since = False, 0.0
-        self.stopped: FleetError | None = None  # why this copy promises nothing more
+        self.stopped: ClusterError | None = None  # why this copy promises nothing more
         self._records: list[Record] = []  # for the next store
         self._snapshot = saved.snapshot
-        if config is not None and saved == Saved():
-            self._log = Log(0, 0, config)
+        if config is not None and saved == PersistedGroup():
+            self._log = RaftLog(0, 0, config)
             self._snapshot = Snapshot(0, 0, config, machine.dump())
             self._records.append(self._snapshot)
         else:
-            self._log = Log.load(saved)
+            self._log = RaftLog.load(saved)
             if saved.snapshot is not None:
                 machine.restore(now, saved.snapshot.body)
         self.commit = self.applied = self._log.base
@@ -189,19 +197,19 @@
         self._safe_index, self._safe_term, self._safe_vote = self._log.last, self.term, self.vote
         self._seq = self._stored = 0
         self._open: deque[_Open] = deque()
-        self._held: deque[tuple[int, Id, Told]] = deque()
+        self._held: deque[tuple[int, MemberId, Told]] = deque()
         self._out: list[Effect] = []
         # Of a follower or candidate.
         self._heard = -math.inf  # a leader's word
         self._told_commit = math.inf  # what the leader last told to be committed; nothing yet
         self._patience = self._timings.election_ms * (1.0 + draw.random())
         self._deadline = now + self._patience
-        self._votes: dict[Id, None] = {}
+        self._votes: dict[MemberId, None] = {}
         self._taking: _Taking | None = None
         self._round_told = 0
         self._led = (0, "")  # the last term in which a leader was seen, and it
         # Of a leader.
-        self._peers: dict[Id, Peer] = {}
+        self._peers: dict[MemberId, FollowerProgress] = {}
         self._pending: dict[int, str] = {}  # tokens of proposals and changes by index
         self._reads: deque[tuple[int, str]] = deque()  # round that has to come back, token
         self._new_reads: list[str] = []  # wait for the next round
@@ -210,7 +218,7 @@
         self._beaten = -math.inf  # the last heartbeat
         self._lead_index = 0  # of the term's first entry
         self._quorum_until = -math.inf
-        self._handing: tuple[Id, float] | None = None  # to whom, and until when
+        self._handing: tuple[MemberId, float] | None = None  # to whom, and until when
         self._lead_told = False  # to stand; told again at each heartbeat
         self.due = math.inf
         self._set_due()
@@ -219,9 +227,9 @@
     # ------------------------------------------------------------------------------------------
 
     @property
-    def config(self) -> Config:
+    def config(self) -> GroupConfiguration:
         """The configuration that holds here; empty at a newcomer."""
-        return self._log.config or Config(())
+        return self._log.config or GroupConfiguration(())
 
     @property
     def whole(self) -> bool:
@@ -250,11 +258,11 @@
             and self.me not in config.learners
         )
 
-    def behind(self) -> tuple[Id, ...]:
+    def behind(self) -> tuple[MemberId, ...]:
         """Learners that have not caught up, by the leader."""
         return tuple(who for who in self.config.learners if not self._caught_up(who)) if self.leading else ()
 
-    def lagging(self) -> tuple[Id, ...]:
+    def lagging(self) -> tuple[MemberId, ...]:
         """Voters that have not caught up, by the leader; each is that for a moment now and then."""
         return (
             tuple(who for who in self.config.voters if who != self.me and not self._caught_up(who))
@@ -295,8 +303,8 @@
         out: list[Effect] = []
         self._out = out
         if self.stopped is not None:
-            if isinstance(event, Propose | Read | Change):
-                out.append(Done(event.token, self.stopped))
+            if isinstance(event, ProposeCommand | ReadIndexRequest | ChangeMembership):
+                out.append(OperationCompleted(event.token, self.stopped))
             return out
         # First: a process that stood still must not go on as the leader, nor count what waited for it as just
         # said.
@@ -304,21 +312,21 @@
             self._say("warning", "majority-not-heard")
             self._follow(now, self.term)
         match event:
-            case Received(sender, message):
+            case MessageReceived(sender, message):
                 self._received(now, sender, message)
-            case Stored(_, seq):
+            case RecordsPersisted(_, seq):
                 self._on_stored(now, seq)
-            case Propose(token, body):
+            case ProposeCommand(token, body):
                 self._propose(now, token, body)
-            case Read(token):
+            case ReadIndexRequest(token):
                 self._read(now, token)
             case Tick():
                 self._tick(now)
-            case Change():
+            case ChangeMembership():
                 self._change(now, event)
-            case HandOver(to):
+            case TransferLeadership(to):
                 self._hand_over(now, to)
-            case StoreBroke(error):
+            case StorageFailure(error):
                 self._stop(
                     now, error
                 )  # a broken rule as well, and told as one: at the disk there is nothing to see to
@@ -333,9 +341,9 @@
         """
         out: list[Effect] = []
         self._out = out
-        self._stop(0.0, NotThere(self.group, "no copy is kept here"))
+        self._stop(0.0, NotFound(self.group, "no copy is kept here"))
         self._seq += 1
-        out.append(Store(self.group, self._seq, (Forget(), HardState(self.term, self.vote))))
+        out.append(PersistRecords(self.group, self._seq, (DiscardGroup(), HardState(self.term, self.vote))))
         return out
 
     def _flush(self) -> None:
@@ -343,7 +351,7 @@
         if self._records and self.stopped is None:
             self._seq += 1
             self._open.append(_Open(self._seq, self._log.last, self.term, self.vote))
-            self._out.insert(0, Store(self.group, self._seq, tuple(self._records)))
+            self._out.insert(0, PersistRecords(self.group, self._seq, tuple(self._records)))
             self._records = []
 
     def _set_due(self) -> None:
@@ -370,7 +378,7 @@
     # Terms and votes
     # --------------------------------------------------------------------------------------------------
 
-    def _harden(self, term: int, vote: Id) -> None:
+    def _harden(self, term: int, vote: MemberId) -> None:
         """Move to a term and a vote in it."""
         if not self._rule(
             Rule.VOTE_ONCE,
@@ -383,7 +391,7 @@
             self._records.pop()
         self._records.append(HardState(term, vote))
 
-    def _follow(self, now: float, term: int, leader: Id = "") -> None:
+    def _follow(self, now: float, term: int, leader: MemberId = "") -> None:
         """Be a follower in a term, of that leader where it is known."""
         if self.role is Role.LEADER:
             self._end_lead()
@@ -411,7 +419,9 @@
             if who != self.me:
                 self._tell(
                     who,
-                    Ask(self.group, self.term + 1, self._log.last, self._log.term_at(self._log.last), True),
+                    RequestVote(
+                        self.group, self.term + 1, self._log.last, self._log.term_at(self._log.last), True
+                    ),
                 )
 
     def _elect(self, now: float, lead: bool = False) -> None:
@@ -422,12 +432,12 @@
         last, last_term = self._log.last, self._log.term_at(self._log.last)
         for who in self.config.voters:
             if who != self.me:
-                self._tell_stored(who, Ask(self.group, self.term, last, last_term, False, lead))
+                self._tell_stored(who, RequestVote(self.group, self.term, last, last_term, False, lead))
 
-    def _knows(self, who: Id) -> bool:
+    def _knows(self, who: MemberId) -> bool:
         return who in self.config.voters or who in self.config.learners
 
-    def _on_ask(self, now: float, who: Id, ask: Ask) -> None:
+    def _on_ask(self, now: float, who: MemberId, ask: RequestVote) -> None:
         mine = (self._log.term_at(self._log.last), self._log.last)
         theirs = (ask.last_term, ask.last_index)
         if self._log.config is None or (not self._knows(who) and theirs <= mine):
@@ -436,7 +446,7 @@
         sticky = heard and not ask.lead
         if ask.pre:
             good = ask.term > self.term and theirs >= mine and not sticky
-            self._tell(who, Vote(self.group, ask.term if good else self.term, good, True))
+            self._tell(who, RequestVoteReply(self.group, ask.term if good else self.term, good, True))
             return
         if ask.term > self.term:
             if sticky:
@@ -444,17 +454,17 @@
             self._follow(now, ask.term)
         good = ask.term == self.term and theirs >= mine and self._may_vote(who)
         if not good:
-            self._tell(who, Vote(self.group, self.term, False, False))
+            self._tell(who, RequestVoteReply(self.group, self.term, False, False))
             return
         if self.vote != who:
             self._harden(self.term, who)
         self._deadline = now + self._patience
-        self._tell_stored(who, Vote(self.group, self.term, True, False))
+        self._tell_stored(who, RequestVoteReply(self.group, self.term, True, False))
 
-    def _may_vote(self, who: Id) -> bool:
+    def _may_vote(self, who: MemberId) -> bool:
         return self.vote in ("", who)
 
-    def _on_vote(self, now: float, who: Id, vote: Vote) -> None:
+    def _on_vote(self, now: float, who: MemberId, vote: RequestVoteReply) -> None:
         if vote.pre:
             if not vote.granted:
                 if vote.term > self.term:
@@ -468,10 +478,10 @@
         elif vote.granted and vote.term == self.term and self.role is Role.CANDIDATE and self._counts(who):
             self._count(now, who)
 
-    def _counts(self, who: Id) -> bool:
+    def _counts(self, who: MemberId) -> bool:
         return who in self.config.voters
 
-    def _count(self, now: float, who: Id) -> None:
+    def _count(self, now: float, who: MemberId) -> None:
         if not self._rule(
             Rule.VOTE_ONCE, who in self.config.voters, lambda: f"{who} is no voter of {self.config}"
         ):
@@ -499,17 +509,19 @@
         """Know every member of the configuration."""
         for who in self.config.voters + self.config.learners:
             if who != self.me and who not in self._peers:
-                self._peers[who] = Peer(self._log.last + 1, now)
+                self._peers[who] = FollowerProgress(self._log.last + 1, now)
         self._quorum_until = -math.inf
 
     def _end_lead(self) -> None:
         """What was proposed may be committed by the next leader, or not; reads changed nothing."""
         for token in self._pending.values():
             self._out.append(
-                Done(token, UnknownOutcome(self.group, "the leader changed before it was committed"))
+                OperationCompleted(
+                    token, UnknownOutcome(self.group, "the leader changed before it was committed")
+                )
             )
         for token in [token for _, token in self._reads] + self._new_reads:
-            self._out.append(Done(token, NoLeader(self.group, "the leader changed")))
+            self._out.append(OperationCompleted(token, NoLeader(self.group, "the leader changed")))
         self._pending, self._new_reads, self._peers = {}, [], {}
         self._reads.clear()
         self.leading, self._handing, self._beat = False, None, math.inf
@@ -565,7 +577,7 @@
         self._finish_hand_over(again=True)
         self._rounds_back(now)
 
-    def _feed(self, now: float, who: Id, peer: Peer, beat: bool = False) -> None:
+    def _feed(self, now: float, who: MemberId, peer: FollowerProgress, beat: bool = False) -> None:
         """Send what there is to send.  `beat`: something in any case, and once more what got no answer."""
         log = self._log
         if beat:
@@ -576,7 +588,9 @@
                 before = max(peer.next - 1, log.base)
                 self._tell(
                     who,
-                    Append(self.group, self.term, before, log.term_at(before), (), self.commit, self._round),
+                    AppendEntries(
+                        self.group, self.term, before, log.term_at(before), (), self.commit, self._round
+                    ),
                 )
                 return
         if peer.next <= log.base:
@@ -592,7 +606,9 @@
             before = peer.next - 1
             self._tell(
                 who,
-                Append(self.group, self.term, before, log.term_at(before), entries, self.commit, self._round),
+                AppendEntries(
+                    self.group, self.term, before, log.term_at(before), entries, self.commit, self._round
+                ),
             )
             beat = False
             if peer.probing:
@@ -602,7 +618,7 @@
                 peer.next += len(entries)
                 peer.flight.append(peer.next - 1)
 
-    def _feed_piece(self, who: Id, peer: Peer) -> None:
+    def _feed_piece(self, who: MemberId, peer: FollowerProgress) -> None:
         if peer.waiting:
             return
         if peer.snapshot is None:
@@ -613,7 +629,7 @@
         body = snapshot.body[peer.held : peer.held + self._timings.piece_bytes]
         self._tell(
             who,
-            Piece(
+            InstallSnapshotChunk(
                 self.group,
                 self.term,
                 snapshot.index,
@@ -626,7 +642,7 @@
             ),
         )
 
-    def _on_appended(self, now: float, who: Id, told: Appended) -> None:
+    def _on_appended(self, now: float, who: MemberId, told: AppendEntriesReply) -> None:
         peer = self._answered(now, who, told.term, told.round)
         if peer is None:
             return
@@ -658,7 +674,7 @@
             self._rounds_back(now)
             self._finish_hand_over()
 
-    def _doubt(self, who: Id, peer: Peer, told: Appended) -> None:
+    def _doubt(self, who: MemberId, peer: FollowerProgress, told: AppendEntriesReply) -> None:
         """It refuses below what it acknowledged.  The answer may be late, or to a batch behind one that
         was lost while it had an old tail: so it goes on behind what it acknowledged.  Who refuses that as
         well, in a later round, lacks it: its folder was put back from a copy.  It cannot be brought up to
@@ -671,7 +687,7 @@
             peer.doubted = math.inf
             self._say("error", "copy-went-back", who=who, acknowledged=peer.match, has=max(told.index - 1, 0))
 
-    def _on_piece_taken(self, now: float, who: Id, told: PieceTaken) -> None:
+    def _on_piece_taken(self, now: float, who: MemberId, told: InstallSnapshotChunkReply) -> None:
         peer = self._answered(now, who, told.term, told.round)
         if peer is None:
             return
@@ -687,7 +703,7 @@
             self._feed_piece(who, peer)
         self._rounds_back(now)
 
-    def _answered(self, now: float, who: Id, term: int, round_: int) -> Peer | None:
+    def _answered(self, now: float, who: MemberId, term: int, round_: int) -> FollowerProgress | None:
         """The member that answers this leader in this term."""
         if term > self.term:
             self._follow(now, term)
@@ -721,7 +737,7 @@
     # Proposals, reads, changes
     # ----------------------------------------------------------------------------------------
 
-    def _refusal(self, bound: int) -> FleetError | None:
+    def _refusal(self, bound: int) -> ClusterError | None:
         if self.role is not Role.LEADER:
             return NoLeader(
                 self.group, f"the leader is {self.leader}" if self.leader else "no leader is known"
@@ -729,15 +745,15 @@
         if self._handing is not None:
             return NoLeader(self.group, f"the lead goes to {self._handing[0]}")
         if bound >= self._timings.most_in_flight or len(self._open) >= MOST_STORES:
-            return Crowded(self.group, f"{bound} are under way")
+            return Overloaded(self.group, f"{bound} are under way")
         return None
 
     def _propose(self, now: float, token: str, body: bytes) -> None:
         error = self._refusal(len(self._pending))
         if error is None and len(body) > MOST_BODY:
-            error = BadCall(self.group, f"body: {len(body)} bytes, at most {MOST_BODY} fit")
+            error = InvalidCall(self.group, f"body: {len(body)} bytes, at most {MOST_BODY} fit")
         if error is not None:
-            self._out.append(Done(token, error))
+            self._out.append(OperationCompleted(token, error))
             return
         self._pending[self._add(COMMAND, body)] = token
         for who, peer in self._peers.items():
@@ -746,7 +762,7 @@
     def _read(self, now: float, token: str) -> None:
         error = self._refusal(len(self._reads) + len(self._new_reads))
         if error is not None:
-            self._out.append(Done(token, error))
+            self._out.append(OperationCompleted(token, error))
             return
         self._new_reads.append(token)
         if self.leading and not self._reads:
@@ -762,47 +778,47 @@
             reverse=True,
         )[self.config.majority() - 1]
         while self._reads and self._reads[0][0] <= back:
-            self._out.append(Done(self._reads.popleft()[1], None))
+            self._out.append(OperationCompleted(self._reads.popleft()[1], None))
         if self.leading and self._new_reads and not self._reads:
             self._heartbeat(now)
 
-    def _caught_up(self, who: Id) -> bool:
+    def _caught_up(self, who: MemberId) -> bool:
         peer = self._peers.get(who)
         return peer is not None and peer.match >= peer.goal
 
-    def _change_fault(self, change: Change) -> FleetError | None:
+    def _change_fault(self, change: ChangeMembership) -> ClusterError | None:
         """Why a change is not taken now."""
         if not self.leading or self._log.config_index > self.commit:
             return WrongState(self.group, "another change of members, or of leader, is under way")
         if change.act == "promote" and not self._knows(change.who):
-            return NotThere(self.group, f"{change.who} is no learner")
+            return NotFound(self.group, f"{change.who} is no learner")
         if change.act == "promote" and change.who in self.config.learners and not self._caught_up(change.who):
             return WrongState(self.group, f"{change.who} has not caught up")
         if change.act == "remove" and self.config.voters == (change.who,):
             return WrongState(self.group, f"{change.who} is the last voter")
         return None
 
-    def _change(self, now: float, change: Change) -> None:
+    def _change(self, now: float, change: ChangeMembership) -> None:
         error = self._refusal(len(self._pending))
         if error is None and change.act not in ("learn", "promote", "remove"):
-            error = BadCall(self.group, f"act: expected learn, promote or remove, got {change.act!r}")
+            error = InvalidCall(self.group, f"act: expected learn, promote or remove, got {change.act!r}")
         error = error or self._change_fault(change)
         if error is not None:
-            self._out.append(Done(change.token, error))
+            self._out.append(OperationCompleted(change.token, error))
             return
         who, voters, learners = change.who, self.config.voters, self.config.learners
         if change.act == "learn":
-            made = self.config if self._knows(who) else Config(voters, (*learners, who))
+            made = self.config if self._knows(who) else GroupConfiguration(voters, (*learners, who))
         else:
             learners = tuple(one for one in learners if one != who)
             voters = (*(one for one in voters if one != who), *((who,) if change.act == "promote" else ()))
             made = (
                 self.config
                 if change.act == "promote" and who in self.config.voters
-                else Config(voters, learners)
+                else GroupConfiguration(voters, learners)
             )
         if made == self.config:
-            self._out.append(Done(change.token, made))  # as asked already
+            self._out.append(OperationCompleted(change.token, made))  # as asked already
             return
         if not self._rule(
             Rule.CONFIG_ONE,
@@ -811,14 +827,14 @@
             and (change.act != "promote" or self._caught_up(who)),
             lambda: f"{change} at {self.last}, committed {self.commit}, config {self._log.config_index}",
         ):
-            self._out.append(Done(change.token, self.stopped))
+            self._out.append(OperationCompleted(change.token, self.stopped))
             return
         self._pending[self._add(CONFIG, encode_config(made))] = change.token
         self._meet(now)
         for one, peer in self._peers.items():
             self._feed(now, one, peer)
 
-    def _hand_over(self, now: float, to: Id) -> None:
+    def _hand_over(self, now: float, to: MemberId) -> None:
         """Bring one up to date and let it stand; it gets the votes although this one is still heard."""
         if self.role is not Role.LEADER or self._handing is not None:
             return
@@ -830,7 +846,7 @@
         self._handing, self._lead_told = (to, now + self._timings.election_ms), False
         self._finish_hand_over()
 
-    def _best(self, now: float) -> Id:
+    def _best(self, now: float) -> MemberId:
         """The voter beside this one that is heard and has most; empty where there is none."""
         heard = [
             (peer.match, who)
@@ -850,30 +866,30 @@
             and (again or not self._lead_told)
         ):
             self._lead_told = True
-            self._tell(to, Lead(self.group, self.term))
+            self._tell(to, TimeoutNow(self.group, self.term))
 
     # Following
     # --------------------------------------------------------------------------------------------------------
 
-    def _received(self, now: float, who: Id, message: Any) -> None:
+    def _received(self, now: float, who: MemberId, message: Any) -> None:
         match message:
-            case Append():
+            case AppendEntries():
                 self._on_append(now, who, message)
-            case Appended():
+            case AppendEntriesReply():
                 self._on_appended(now, who, message)
-            case Ask():
+            case RequestVote():
                 self._on_ask(now, who, message)
-            case Vote():
+            case RequestVoteReply():
                 self._on_vote(now, who, message)
-            case Piece():
+            case InstallSnapshotChunk():
                 self._on_piece(now, who, message)
-            case PieceTaken():
+            case InstallSnapshotChunkReply():
                 self._on_piece_taken(now, who, message)
-            case Lead():
+            case TimeoutNow():
                 if message.term == self.term and self.leader == who and self.me in self.config.voters:
                     self._elect(now, lead=True)
 
-    def _see_leader(self, term: int, who: Id) -> bool:
+    def _see_leader(self, term: int, who: MemberId) -> bool:
         """Note who leads a term."""
         holds = self._rule(
             Rule.ONE_LEADER,
@@ -883,10 +899,10 @@
         self._led = (term, who)
         return holds
 
-    def _heed(self, now: float, who: Id, term: int, round_: int) -> bool:
+    def _heed(self, now: float, who: MemberId, term: int, round_: int) -> bool:
         """Whether this comes from the leader of the present term, or of a later one."""
         if term < self.term:
-            self._tell(who, Appended(self.group, self.term, False, self._log.last + 1, round_))
+            self._tell(who, AppendEntriesReply(self.group, self.term, False, self._log.last + 1, round_))
             return False
         if not self._see_leader(term, who):
             return False
@@ -894,7 +910,7 @@
         self._heard = now
         return self.stopped is None
 
-    def _on_append(self, now: float, who: Id, said: Append) -> None:
+    def _on_append(self, now: float, who: MemberId, said: AppendEntries) -> None:
         if not self._heed(now, who, said.term, said.round):
             return
         log, entries, before = self._log, said.entries, said.previous
@@ -916,7 +932,7 @@
         self._acknowledge(who, match, said.round)
         self._commit_to(now, min(said.commit, match))
 
-    def _take(self, entries: tuple[Entry, ...]) -> bool:
+    def _take(self, entries: tuple[LogEntry, ...]) -> bool:
         """Append what is not there yet; only what differs is cut off, as an old append may come late."""
         log = self._log
         for at, entry in enumerate(entries):
@@ -933,7 +949,7 @@
             return True
         return True
 
-    def _config_fits(self, before: Config) -> bool:
+    def _config_fits(self, before: GroupConfiguration) -> bool:
         moved = set(before.voters) ^ set(self.config.voters)
         return self._rule(Rule.CONFIG_ONE, len(moved) <= 1, lambda: f"{before} to {self.config}")
 
@@ -955,21 +971,23 @@
         for one in self._open:
             one.last = min(one.last, index)
 
-    def _refuse(self, who: Id, index: int, round_: int) -> None:
-        self._tell(who, Appended(self.group, self.term, False, index, round_))
+    def _refuse(self, who: MemberId, index: int, round_: int) -> None:
+        self._tell(who, AppendEntriesReply(self.group, self.term, False, index, round_))
 
-    def _acknowledge(self, who: Id, match: int, round_: int) -> None:
+    def _acknowledge(self, who: MemberId, match: int, round_: int) -> None:
         """Say what matches, once it is stored; a round is answered at once, as it says only whom this one
         follows."""
         if match <= self._safe_index and self._safe_term == self.term:
-            self._tell(who, Appended(self.group, self.term, True, match, round_))
+            self._tell(who, AppendEntriesReply(self.group, self.term, True, match, round_))
         else:
             if round_ > self._round_told:
-                self._tell(who, Appended(self.group, self.term, True, min(match, self._safe_index), round_))
-            self._tell_stored(who, Appended(self.group, self.term, True, match, round_))
+                self._tell(
+                    who, AppendEntriesReply(self.group, self.term, True, min(match, self._safe_index), round_)
+                )
+            self._tell_stored(who, AppendEntriesReply(self.group, self.term, True, match, round_))
         self._round_told = max(self._round_told, round_)
 
-    def _on_piece(self, now: float, who: Id, piece: Piece) -> None:
+    def _on_piece(self, now: float, who: MemberId, piece: InstallSnapshotChunk) -> None:
         if not self._heed(now, who, piece.term, piece.round):
             return
         if self._log.config is not None and piece.index <= self.commit:
@@ -985,7 +1003,9 @@
         if piece.offset == len(body):
             body += piece.body
         if len(body) < piece.size:
-            self._tell(who, PieceTaken(self.group, self.term, piece.index, len(body), piece.round))
+            self._tell(
+                who, InstallSnapshotChunkReply(self.group, self.term, piece.index, len(body), piece.round)
+            )
             return
         self._taking = None
         self._install(now, Snapshot(piece.index, piece.index_term, piece.config, bytes(body)))
@@ -1003,7 +1023,7 @@
         else:
             self._unsafe(self.commit)
             self._held.clear()  # they count as lost; what follows acknowledges more
-            self._log = Log(snapshot.index, snapshot.term, snapshot.config)
+            self._log = RaftLog(snapshot.index, snapshot.term, snapshot.config)
         self._machine.restore(now, snapshot.body)
         self._snapshot = snapshot
         self._records.append(snapshot)
@@ -1016,7 +1036,7 @@
 
     def _add(self, kind: int, body: bytes) -> int:
         """An entry of the leader's own term."""
-        entry = Entry(self._log.last + 1, self.term, kind, body)
+        entry = LogEntry(self._log.last + 1, self.term, kind, body)
         before = self.config
         self._log.add(entry)
         self._records.append(Entries((entry,)))
@@ -1045,7 +1065,7 @@
                 result = log.config_at(entry.index)
             token = self._pending.pop(entry.index, None)
             if token is not None:
-                self._out.append(Done(token, result))
+                self._out.append(OperationCompleted(token, result))
         self._note_member()
         if self.role is Role.LEADER:
             if not self.leading and self.commit >= self._lead_index:
@@ -1069,7 +1089,7 @@
         if self.me not in self.config.voters:
             best = self._best(now)
             if best:
-                self._tell(best, Lead(self.group, self.term))
+                self._tell(best, TimeoutNow(self.group, self.term))
             self._follow(now, self.term)
 
     def _compact(self) -> None:
@@ -1102,7 +1122,7 @@
         elif self.role is Role.CANDIDATE and (self._safe_term, self._safe_vote) == (self.term, self.me):
             self._count(now, self.me)
 
-    def _tell_stored(self, to: Id, message: Told) -> None:
+    def _tell_stored(self, to: MemberId, message: Told) -> None:
         """Tell when all up to here is stored."""
         seq = self._seq + 1 if self._records else self._seq
         if seq <= self._stored:
@@ -1112,17 +1132,17 @@
             self._held.popleft()
         self._held.append((seq, to, message))
 
-    def _tell(self, to: Id, message: Told) -> None:
+    def _tell(self, to: MemberId, message: Told) -> None:
         holds = True
         match message:
-            case Appended(good=True):
+            case AppendEntriesReply(good=True):
                 holds = message.index <= self._safe_index
-            case Vote(granted=True, pre=False):
+            case RequestVoteReply(granted=True, pre=False):
                 holds = (self._safe_term, self._safe_vote) == (message.term, to)
-            case Ask(pre=False):
+            case RequestVote(pre=False):
                 holds = (self._safe_term, self._safe_vote) == (message.term, self.me)
         if self._rule(Rule.STORED_FIRST, holds, lambda: f"{self.me} tells {to} {message}"):
-            self._out.append(Send(to, message))
+            self._out.append(SendMessage(to, message))
 
     # Ends
     # -------------------------------------------------------------------------------------------------------------
@@ -1134,14 +1154,14 @@
         self._stop(0.0, InvariantBroken(self.group, rule.value))
         return False
 
-    def _stop(self, now: float, error: FleetError) -> None:
+    def _stop(self, now: float, error: ClusterError) -> None:
         if self.stopped is not None:
             return
         if self.role is Role.LEADER:
-            best = self._best(now) if isinstance(error, StoreFailed) else ""
+            best = self._best(now) if isinstance(error, StorageFailed) else ""
             if best:
                 self._out.append(
-                    Send(best, Lead(self.group, self.term))
+                    SendMessage(best, TimeoutNow(self.group, self.term))
                 )  # it need not wait for an election time
             self._end_lead()
         self.stopped, self.role, self.leader, self.leading = error, Role.FOLLOWER, "", False
@@ -1150,4 +1170,4 @@
         self._say("error", "copy-stopped", error=str(error))
 
     def _say(self, level: str, event: str, **fields: Any) -> None:
-        self._out.append(Say(level, event, {"group": self.group, "term": self.term, **fields}))
+        self._out.append(LogEvent(level, event, {"group": self.group, "term": self.term, **fields}))
