--- a/badgeryoke/cluster/reservations/contract.py
+++ b/badgeryoke/cluster/reservations/contract.py
@@ -34,11 +34,19 @@
 
 import msgspec
 
-from badgeryoke.cluster.errors import AnyError, BadCall, Crowded, LeaseOver, NoRoom, NotThere, WrongState
+from badgeryoke.cluster.errors import (
+    AnyError,
+    InsufficientCapacity,
+    InvalidCall,
+    LeaseExpired,
+    NotFound,
+    Overloaded,
+    WrongState,
+)
 from badgeryoke.cluster.invariants import Invariants, Rule
-from badgeryoke.cluster.leases.lease_pool import EDGE, MOST_HOLDERS, Divided, Grant
-from badgeryoke.cluster.messages import Id
-from badgeryoke.cluster.state_machine.part import Applied, Command, View
+from badgeryoke.cluster.leases.lease_pool import EDGE, MOST_HOLDERS, LeaseGrant, LeasePool
+from badgeryoke.cluster.messages import MemberId
+from badgeryoke.cluster.state_machine.part import ApplyResult, Command, LeaderView
 from badgeryoke.cluster.timings import Timings
 
 MOST_CONTRACTS = 1000  # not settled, in the fleet; more are refused
@@ -75,7 +83,7 @@
 NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
 
 
-class State(Enum):
+class ContractState(Enum):
     """Where a contract stands."""
 
     PROPOSED = "proposed"
@@ -88,7 +96,7 @@
     SETTLED = "settled"
 
 
-class Step(Enum):
+class ContractEvent(Enum):
     """What happens to one."""
 
     ADMIT = "it fits"
@@ -103,8 +111,8 @@
     SETTLE = "its last lease is over"
 
 
-S, E = State, Step
-TRANSITIONS: dict[tuple[State, Step], State] = {
+S, E = ContractState, ContractEvent
+TRANSITIONS: dict[tuple[ContractState, ContractEvent], ContractState] = {
     (S.PROPOSED, E.ADMIT): S.ADMITTED,
     (S.PROPOSED, E.REFUSE): S.REFUSED,
     (S.ADMITTED, E.ARM): S.ARMED,
@@ -139,7 +147,7 @@
     until_ms: float = 0.0
 
 
-class Terms(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class ContractTerms(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """What is promised.  `surplus`: what the tenant asks for on top is served as anybody's, else it is
     refused."""
 
@@ -212,7 +220,7 @@
 # ---------------------------------------------------------------------------------------
 
 
-class Capacity(Command, frozen=True, kw_only=True, tag="Capacity"):
+class SetCapacity(Command, frozen=True, kw_only=True, tag="Capacity"):
     """What the fleet can carry, units a second; `reserve`: the part kept for losses; `floor`: units a
     second for all others; `halls`: capacity of each, where it is known."""
 
@@ -229,21 +237,21 @@
         return "" if 0.0 <= self.reserve < 1.0 else f"reserve: expected 0 to below 1, got {self.reserve!r}"
 
 
-class Propose(Command, frozen=True, kw_only=True, tag="Propose"):
+class ProposeContract(Command, frozen=True, kw_only=True, tag="Propose"):
     """A contract under a name of its own.  Gives its facts, or NoRoom with what would fit and when."""
 
     contract: str
-    terms: Terms
+    terms: ContractTerms
 
     def fault(self) -> str:
         return _named(self.contract) or self.terms.fault()
 
 
-class Change(Command, frozen=True, kw_only=True, tag="Change"):
+class ChangeContract(Command, frozen=True, kw_only=True, tag="Change"):
     """Other terms from one moment over all gateways.  The tenant stays."""
 
     contract: str
-    terms: Terms
+    terms: ContractTerms
     holds_from_ms: float
 
     def fault(self) -> str:
@@ -259,7 +267,7 @@
     contract: str
 
 
-class Told(Command, frozen=True, kw_only=True, tag="Told"):
+class VersionDrained(Command, frozen=True, kw_only=True, tag="Told"):
     """The tenant's group holds to that version, and no lease of one before is left."""
 
     contract: str
@@ -269,7 +277,7 @@
         return _counted("version", self.version)
 
 
-class Short(Command, frozen=True, kw_only=True, tag="Short"):
+class ReportShortfall(Command, frozen=True, kw_only=True, tag="Short"):
     """Units within the contract that were not served at one gateway, by cause: its total since it began to
     count, so that a repeat adds nothing."""
 
@@ -291,19 +299,19 @@
         )
 
 
-class Pass(Command, frozen=True, kw_only=True, tag="Pass"):
+class AdvanceContracts(Command, frozen=True, kw_only=True, tag="Pass"):
     """Time has gone on: contracts go on by their table."""
 
     once: ClassVar[bool] = False
 
 
-class ContractsRead(Command, frozen=True, kw_only=True, tag="ContractsRead"):
+class ReadContracts(Command, frozen=True, kw_only=True, tag="ContractsRead"):
     """All contracts, for operators: state, terms, units short; and the room that is left now."""
 
     reads: ClassVar[bool] = True
 
 
-class ContractsKnown(Command, frozen=True, kw_only=True, tag="ContractsKnown"):
+class PollContracts(Command, frozen=True, kw_only=True, tag="ContractsKnown"):
     """What a gateway has to know of contracts; nothing but the number where it has that already."""
 
     reads: ClassVar[bool] = True
@@ -326,7 +334,7 @@
         return f"t:{self.tenant}"
 
 
-class Open(_OfTenant, frozen=True, kw_only=True, tag="Open"):
+class OpenContract(_OfTenant, frozen=True, kw_only=True, tag="Open"):
     """Hold to a version from its moment on (a first one: at once)."""
 
     version: int
@@ -340,13 +348,13 @@
         return "" if good and len(self.times) <= MOST_SPANS else "version: out of bounds"
 
 
-class Lease(_OfTenant, frozen=True, kw_only=True, tag="Lease"):
+class RequestLease(_OfTenant, frozen=True, kw_only=True, tag="Lease"):
     """Renew, shrink, grow or give back a part of a contract's rate and burst: see
     `badgeryoke.cluster.leases.lease_pool.Divided.ask`."""
 
     once: ClassVar[bool] = False  # its number states the order; the last answer is kept for a repeat
 
-    holder: Id
+    holder: MemberId
     number: int
     keep: float
     wish: float
@@ -368,13 +376,13 @@
         return "" if 0 < len(self.holder) <= 200 and len(self.process) <= 64 else "holder: expected a name"
 
 
-class TurnFloor(_OfTenant, frozen=True, kw_only=True, tag="TurnFloor"):
+class SwitchVersion(_OfTenant, frozen=True, kw_only=True, tag="TurnFloor"):
     """The moment of a version has come, though nobody asks for a part."""
 
     once: ClassVar[bool] = False
 
 
-class Used(_OfTenant, frozen=True, kw_only=True, tag="Used"):
+class ReportUsage(_OfTenant, frozen=True, kw_only=True, tag="Used"):
     """What was asked for within a contract at one gateway and what of that was drawn, in slices of the
     group's time (number, units, units).  A slice told again takes the place of the same one."""
 
@@ -395,12 +403,12 @@
         )
 
 
-class EndLease(_OfTenant, frozen=True, kw_only=True, tag="EndLease"):
+class ReleaseLease(_OfTenant, frozen=True, kw_only=True, tag="EndLease"):
     """A lease is over by the leader's clock, and so by its holder's."""
 
     once: ClassVar[bool] = False  # its number is given once
 
-    holder: Id
+    holder: MemberId
     number: int
 
     def fault(self) -> str:
@@ -408,17 +416,23 @@
 
 
 FLEET_COMMANDS: tuple[type[Command], ...] = (
-    Capacity,
-    Propose,
-    Change,
+    SetCapacity,
+    ProposeContract,
+    ChangeContract,
     CancelContract,
-    Told,
-    Short,
-    Pass,
-    ContractsRead,
-    ContractsKnown,
+    VersionDrained,
+    ReportShortfall,
+    AdvanceContracts,
+    ReadContracts,
+    PollContracts,
+)
+TENANT_COMMANDS: tuple[type[Command], ...] = (
+    OpenContract,
+    RequestLease,
+    ReportUsage,
+    ReleaseLease,
+    SwitchVersion,
 )
-TENANT_COMMANDS: tuple[type[Command], ...] = (Open, Lease, Used, EndLease, TurnFloor)
 COMMANDS: tuple[type[Command], ...] = FLEET_COMMANDS + TENANT_COMMANDS
 
 
@@ -439,11 +453,11 @@
 
 
 @dataclass(slots=True)
-class Version:
+class ContractVersion:
     """Terms from a moment on.  `times`: when its windows hold; none for a cancelling."""
 
     number: int
-    terms: Terms
+    terms: ContractTerms
     times: list[Span]
     holds_from: float
 
@@ -454,26 +468,26 @@
     moved to yet."""
 
     name: str
-    versions: list[Version]
-    state: State = State.PROPOSED
+    versions: list[ContractVersion]
+    state: ContractState = ContractState.PROPOSED
     told: int = 0  # the newest version that the tenant's group holds to
     cancelled: bool = False
     short: dict[str, dict[str, float]] = field(default_factory=dict)  # cause -> reporter -> units
     since_ms: float = 0.0  # of the first unit short
     last_short_ms: float = 0.0
 
-    def step(self, step: Step) -> bool:
+    def step(self, step: ContractEvent) -> bool:
         """Go on by the table; False where the table has no such step."""
         new = TRANSITIONS.get((self.state, step))
         self.state = new or self.state
         return new is not None
 
     @property
-    def newest(self) -> Version:
+    def newest(self) -> ContractVersion:
         """What holds, or will."""
         return self.versions[-1]
 
-    def at(self, at_ms: float) -> Version:
+    def at(self, at_ms: float) -> ContractVersion:
         """The version whose windows hold at a moment."""
         return self.newest if at_ms >= self.newest.holds_from else self.versions[0]
 
@@ -503,7 +517,7 @@
     return max((one[2] for one in pieces[max(found - 2, 0) : found] if one[1] > at), default=0.0)
 
 
-class Line:
+class CapacityProfile:
     """The sum of pieces over time."""
 
     def __init__(self, pieces: Iterable[Piece]) -> None:
@@ -526,7 +540,7 @@
         return max([self.after[first - 1] if first else 0.0, *self.after[first:last]], default=0.0)
 
 
-class Contracts:
+class ContractRegistry:
     """The part of the fleet's group that admits contracts and follows them to their end."""
 
     def __init__(self, timings: Timings, rules: Invariants) -> None:
@@ -549,38 +563,40 @@
         """So long behind a window's end a lease may yet be in use."""
         return self._timings.outlast()
 
-    def apply(self, at_ms: float, command: Any) -> Applied:
+    def apply(self, at_ms: float, command: Any) -> ApplyResult:
         """See badgeryoke.cluster.state_machine.part."""
         if said := command.fault():
-            return Applied(error=BadCall(getattr(command, "contract", "") or "capacity", said))
+            return ApplyResult(error=InvalidCall(getattr(command, "contract", "") or "capacity", said))
         for one in self.held.values():
             self._move(at_ms, one)
         match command:
-            case Propose():
+            case ProposeContract():
                 result = self._propose(at_ms, command)
-            case Change():
+            case ChangeContract():
                 result = self._change(at_ms, command.contract, command.terms, command.holds_from_ms)
             case CancelContract():
                 result = self._change(at_ms, command.contract, None, at_ms + 2 * self.tail)
-            case Told():
+            case VersionDrained():
                 result = self._told(at_ms, command)
-            case Short():
+            case ReportShortfall():
                 result = self._short(at_ms, command)
-            case Capacity():
+            case SetCapacity():
                 result = self._capacity(at_ms, command)
-            case Pass():
+            case AdvanceContracts():
                 self._tidy()
-                return Applied()
+                return ApplyResult()
             case _:
-                return Applied(error=BadCall("contracts", f"unknown command {command.command_name()}"))
-        if result.error is None and not isinstance(command, Short):
+                return ApplyResult(
+                    error=InvalidCall("contracts", f"unknown command {command.command_name()}")
+                )
+        if result.error is None and not isinstance(command, ReportShortfall):
             self._check(at_ms)
         return result
 
-    def look(self, command: Any) -> Applied:
+    def look(self, command: Any) -> ApplyResult:
         """See badgeryoke.cluster.state_machine.part."""
-        if isinstance(command, ContractsKnown):
-            return Applied(
+        if isinstance(command, PollContracts):
+            return ApplyResult(
                 {"known": self.known}
                 if command.have == self.known
                 else {
@@ -592,7 +608,7 @@
                     ],
                 }
             )
-        return Applied(
+        return ApplyResult(
             {
                 "capacity": self.capacity,
                 "reserve": self.reserve,
@@ -613,45 +629,49 @@
         """The most that contracts take at any moment of a time (Unix ms), units a second."""
         return self._line().peak(begin, end)
 
-    def _propose(self, at_ms: float, command: Propose) -> Applied:
+    def _propose(self, at_ms: float, command: ProposeContract) -> ApplyResult:
         terms, known = command.terms, self.held.get(command.contract)
         if known is not None:
             same = known.versions[0].terms == terms
-            return Applied(
+            return ApplyResult(
                 self._told_of(known), None if same else WrongState(command.contract, "another has that name")
             )
         times = spans(terms.windows)
         if times[0][0] < at_ms:
             late = at_ms - times[0][0]
-            return Applied(error=BadCall(command.contract, f"windows: from_ms: {late:.0f} ms in the past"))
+            return ApplyResult(
+                error=InvalidCall(command.contract, f"windows: from_ms: {late:.0f} ms in the past")
+            )
         if (full := self._full(terms, len(times))) is not None:
-            return Applied(error=full)
-        made = Contract(command.contract, [Version(self.made + 1, terms, times, 0.0)])
+            return ApplyResult(error=full)
+        made = Contract(command.contract, [ContractVersion(self.made + 1, terms, times, 0.0)])
         refused = self._refuse(at_ms, made.name, made.pieces(self.tail), terms)
         made.step(E.ADMIT if refused is None else E.REFUSE)
         if refused is not None:
-            return Applied(error=refused)
+            return ApplyResult(error=refused)
         self.held[made.name] = made
         self.made += 1
         self.known += 1
         self._move(at_ms, made)
-        return Applied(self._told_of(made))
+        return ApplyResult(self._told_of(made))
 
-    def _full(self, terms: Terms, times: int) -> AnyError | None:
+    def _full(self, terms: ContractTerms, times: int) -> AnyError | None:
         self._tidy()
         live = [one for one in self.held.values() if one.state is not S.SETTLED]
         if (
             len(live) >= MOST_CONTRACTS
             or sum(one.newest.terms.tenant == terms.tenant for one in live) >= MOST_OF_TENANT
         ):
-            return Crowded(
+            return Overloaded(
                 terms.tenant, f"{MOST_CONTRACTS} in all, or {MOST_OF_TENANT} of a tenant, are held already"
             )
         if sum(len(v.times) for one in live for v in one.versions) + times > MOST_SPANS_IN_ALL:
-            return Crowded(terms.tenant, f"windows: all contracts' come to more than {MOST_SPANS_IN_ALL}")
+            return Overloaded(terms.tenant, f"windows: all contracts' come to more than {MOST_SPANS_IN_ALL}")
         return None
 
-    def _refuse(self, at_ms: float, name: str, pieces: list[Piece], terms: Terms) -> NoRoom | None:
+    def _refuse(
+        self, at_ms: float, name: str, pieces: list[Piece], terms: ContractTerms
+    ) -> InsufficientCapacity | None:
         """Why it does not fit, or None.  `pieces`: all that it would take, beside all others."""
         fits = math.inf
         for hall in ("", terms.hall) if terms.hall else ("",):
@@ -662,14 +682,14 @@
                 fits = min(fits, max(free - max(others.peak(begin, end) for begin, end, _ in ahead), 0.0))
         if fits is math.inf:
             return None
-        return NoRoom(
+        return InsufficientCapacity(
             name,
             f"rate: {terms.rate:g} units a second are asked for",
             fits=fits,
             fits_from_ms=self._earliest(at_ms, name, pieces, terms),
         )
 
-    def _earliest(self, at_ms: float, name: str, pieces: list[Piece], terms: Terms) -> float:
+    def _earliest(self, at_ms: float, name: str, pieces: list[Piece], terms: ContractTerms) -> float:
         """From when on all of it would fit; it can only become so where something else ends."""
         halls = ("", terms.hall) if terms.hall else ("",)
         lines = [(self._line(hall, without=name), self.available(hall)) for hall in halls]
@@ -692,8 +712,8 @@
                 return at
         return 0.0
 
-    def _line(self, hall: str = "", without: str = "") -> Line:
-        return Line(
+    def _line(self, hall: str = "", without: str = "") -> CapacityProfile:
+        return CapacityProfile(
             piece
             for one in self.held.values()
             if one.name != without
@@ -711,27 +731,29 @@
             self._rules.check(Rule.CONTRACTS_FIT, peak <= max(free, booked) + 1e-6, lambda said=said: said)  # type: ignore
             self._booked[hall] = min(booked, peak) if peak > free else 0.0
 
-    def _change(self, at_ms: float, name: str, terms: Terms | None, holds_from: float) -> Applied:
+    def _change(self, at_ms: float, name: str, terms: ContractTerms | None, holds_from: float) -> ApplyResult:
         found = self.held.get(name)
         if found is None:
-            return Applied(error=NotThere(name, "no such contract is known"))
+            return ApplyResult(error=NotFound(name, "no such contract is known"))
         old = found.newest
         if found.cancelled or found.state in (S.SETTLED, S.REFUSED) or old.times[-1][1] <= at_ms:
-            return Applied(
+            return ApplyResult(
                 error=WrongState(name, f"it is {'cancelled' if found.cancelled else found.state.value}")
             )
         if len(found.versions) > 1:
-            return Applied(error=WrongState(name, "the change before is not through yet"))
+            return ApplyResult(error=WrongState(name, "the change before is not through yet"))
         if holds_from < at_ms + 2 * self.tail - EDGE:
-            return Applied(
-                error=BadCall(name, f"holds_from_ms: expected {2 * self.tail:.0f} ms ahead at the least")
+            return ApplyResult(
+                error=InvalidCall(name, f"holds_from_ms: expected {2 * self.tail:.0f} ms ahead at the least")
             )
         if terms is not None and (terms.tenant, terms.hall) != (old.terms.tenant, old.terms.hall):
-            return Applied(error=BadCall(name, "tenant: it stays, and the hall as well"))
+            return ApplyResult(error=InvalidCall(name, "tenant: it stays, and the hall as well"))
         times = spans(terms.windows) if terms is not None else []
         if terms is not None and times[-1][1] <= holds_from:
-            return Applied(error=BadCall(name, "windows: expected one that ends behind holds_from_ms"))
-        coming = Version(self.made + 1, terms or old.terms, times, holds_from)
+            return ApplyResult(
+                error=InvalidCall(name, "windows: expected one that ends behind holds_from_ms")
+            )
+        coming = ContractVersion(self.made + 1, terms or old.terms, times, holds_from)
         before = found.pieces(self.tail)
         more = [
             one
@@ -739,53 +761,59 @@
             if one[2] > _height(before, one[0]) + EDGE
         ]
         if terms is not None and more and (refused := self._refuse(at_ms, name, more, terms)) is not None:
-            return Applied(error=refused)
+            return ApplyResult(error=refused)
         found.versions.append(coming)
         self.made += 1
         self.known += 1
         if terms is None:
             found.cancelled = True
             found.step(E.CANCEL)
-        return Applied(self._told_of(found))
+        return ApplyResult(self._told_of(found))
 
-    def _told(self, at_ms: float, command: Told) -> Applied:
+    def _told(self, at_ms: float, command: VersionDrained) -> ApplyResult:
         found = self.held.get(command.contract)
         if found is None:
-            return Applied(error=NotThere(command.contract, "no such contract is known"))
+            return ApplyResult(error=NotFound(command.contract, "no such contract is known"))
         if command.version > found.newest.number:
-            return Applied(error=WrongState(command.contract, f"version {command.version} is not known here"))
+            return ApplyResult(
+                error=WrongState(command.contract, f"version {command.version} is not known here")
+            )
         if command.version > found.told:
             found.told = command.version
             if len(found.versions) > 1 and command.version == found.newest.number:
                 del found.versions[0]
             self.known += 1
             self._move(at_ms, found)
-        return Applied()
+        return ApplyResult()
 
-    def _short(self, at_ms: float, command: Short) -> Applied:
+    def _short(self, at_ms: float, command: ReportShortfall) -> ApplyResult:
         found = self.held.get(command.contract)
         if found is None:
-            return Applied(error=NotThere(command.contract, "no such contract is known"))
+            return ApplyResult(error=NotFound(command.contract, "no such contract is known"))
         told = found.short.setdefault(command.cause, {})
         more = command.units - told.get(command.by, 0.0)
         if command.by not in told and sum(map(len, found.short.values())) >= MOST_REPORTERS:
-            return Applied(error=Crowded(command.contract, f"{MOST_REPORTERS} reports are counted already"))
+            return ApplyResult(
+                error=Overloaded(command.contract, f"{MOST_REPORTERS} reports are counted already")
+            )
         if more <= 0.0:
-            return Applied()
+            return ApplyResult()
         told[command.by] = command.units
         found.since_ms = min(found.since_ms or math.inf, command.since_ms)
         found.last_short_ms = at_ms
         found.step(E.SHORT)
-        return Applied()
+        return ApplyResult()
 
-    def _capacity(self, at_ms: float, command: Capacity) -> Applied:
+    def _capacity(self, at_ms: float, command: SetCapacity) -> ApplyResult:
         self.capacity, self.reserve, self.floor = command.units, command.reserve, command.floor
         self.halls = dict(sorted(command.halls.items()))
         self.stated += 1
         # What was promised stays promised: it is for `badgeryoke.cluster.reservations.priority_shedding` to
         # say who goes first, and nothing new is admitted.
         self._booked = {hall: self._line(hall).peak(at_ms, math.inf) for hall in ("", *self.halls)}
-        return Applied({"available": self.available(), "over": max(self._booked[""] - self.available(), 0.0)})
+        return ApplyResult(
+            {"available": self.available(), "over": max(self._booked[""] - self.available(), 0.0)}
+        )
 
     def _move(self, at_ms: float, one: Contract) -> None:
         """Go on by time, as far as it has come."""
@@ -796,7 +824,7 @@
         step = self._due(at_ms, one)
         return step is not None and one.step(step)
 
-    def _due(self, at_ms: float, one: Contract) -> Step | None:
+    def _due(self, at_ms: float, one: Contract) -> ContractEvent | None:
         """The step that time asks for, if the table has one."""
         times = one.at(at_ms).times
         turn = bisect_right(times, at_ms, key=lambda span: span[1])
@@ -829,7 +857,7 @@
         for name in settled[: max(len(settled) - MOST_SETTLED, 0)]:
             del self.held[name]
 
-    def work(self, view: View) -> list[Command]:
+    def work(self, view: LeaderView) -> list[Command]:
         """Let the tenants' groups know of versions, time go on, and the capacity be what this gateway
         knows."""
         made: list[Command] = []
@@ -837,7 +865,7 @@
         if units > 0.0 and abs(units - self.capacity) > 0.02 * self.capacity:
             reserve = view.load.get("reserve", 1.0 / max(len(view.halls), 2))
             made.append(
-                Capacity(
+                SetCapacity(
                     id=f"capacity/{self.stated}",
                     units=units,
                     reserve=reserve,
@@ -845,7 +873,7 @@
                 )
             )
         if any(self._due(view.wall, one) is not None for one in self.held.values()):
-            made.append(Pass(id="pass"))
+            made.append(AdvanceContracts(id="pass"))
         wanted = {
             f"open/{one.name}/{version.number}": (one.name, version)
             for one in self.held.values()
@@ -856,7 +884,7 @@
         for asked in due(self._asked, wanted, view.now):
             name, last = wanted[asked]
             made.append(
-                Open(
+                OpenContract(
                     id=asked,
                     tenant=last.terms.tenant,
                     contract=name,
@@ -940,10 +968,12 @@
             self.held[name] = Contract(
                 name,
                 [
-                    Version(number, msgspec.convert(terms, Terms), [(a, b) for a, b in times], holds_from)
+                    ContractVersion(
+                        number, msgspec.convert(terms, ContractTerms), [(a, b) for a, b in times], holds_from
+                    )
                     for number, terms, times, holds_from in versions
                 ],
-                State(state),
+                ContractState(state),
                 told,
                 cancelled,
                 short,
@@ -970,7 +1000,7 @@
 
 
 @dataclass(slots=True)
-class Tally:
+class UsageTally:
     """What was due to a tenant and what it drew: a bucket of the whole rate and burst, over all gateways
     together, that serves units, of whatever requests.  Settled by busy times, each up to a rest: within
     one, what was due may be drawn later, from buckets that others had not used up, by the burst at the
@@ -1037,25 +1067,25 @@
 
 
 @dataclass(slots=True)
-class Floor:
+class GuaranteedRate:
     """One contract as its tenant's group holds it."""
 
     tenant: str
     version: int
     rate: float
     times: list[Span]
-    parts: Divided
-    coming: Open | None = None
+    parts: LeasePool
+    coming: OpenContract | None = None
     switch: int = 0  # the last lease's number when this version came into force
-    answers: dict[Id, tuple[str, Any]] = field(
+    answers: dict[MemberId, tuple[str, Any]] = field(
         default_factory=dict
     )  # the last call of each holder, for a repeat
-    orders: dict[Id, dict[str, int]] = field(
+    orders: dict[MemberId, dict[str, int]] = field(
         default_factory=dict
     )  # of calls taken: by process, the newest one last
-    tally: Tally = field(default_factory=Tally)
+    tally: UsageTally = field(default_factory=UsageTally)
 
-    def stale(self, command: Lease) -> bool:
+    def stale(self, command: RequestLease) -> bool:
         """Whether a later call of that holder was taken already.  A holder that was forgotten, which is
         one that held nothing for longest, begins anew; so does the fifth process before this one, which no
         call outlives.  Order 0 is none."""
@@ -1080,58 +1110,58 @@
         return self.parts.granted() <= self.parts.aim + 1e-6 and all(one.number > self.switch for one in held)
 
 
-class Floors:
+class GuaranteedRates:
     """The part of a tenants' group that divides their contracts over the gateways."""
 
     def __init__(self, timings: Timings, rules: Invariants) -> None:
         self._timings, self._rules = timings, rules
-        self.held: dict[str, Floor] = {}
+        self.held: dict[str, GuaranteedRate] = {}
         # number of the last lease of any contract: one that comes back does not begin at 1 again
         self.last = 0
         self._told: dict[str, tuple[float, float]] = {}
         self._shorts: dict[str, tuple[float, float]] = {}
         self._fresh: set[str] = set()  # with leases that no clock has seen yet
 
-    def apply(self, at_ms: float, command: Any) -> Applied:
+    def apply(self, at_ms: float, command: Any) -> ApplyResult:
         """See badgeryoke.cluster.state_machine.part."""
         if said := command.fault():
-            return Applied(error=BadCall(command.contract, said))
-        if isinstance(command, Open):
+            return ApplyResult(error=InvalidCall(command.contract, said))
+        if isinstance(command, OpenContract):
             return self._open(at_ms, command)
         found = self.held.get(command.contract)
         if found is None:
-            return Applied(error=NotThere(command.contract, "no such contract is open here"))
+            return ApplyResult(error=NotFound(command.contract, "no such contract is open here"))
         self._turn(at_ms, found)
         found.parts.accrue(at_ms)
-        if isinstance(command, EndLease):
+        if isinstance(command, ReleaseLease):
             ended = found.parts.end(command.holder, command.number)
             if ended:
                 found.answers.pop(command.holder, None)
-            return Applied(ended)
-        if isinstance(command, Lease):
+            return ApplyResult(ended)
+        if isinstance(command, RequestLease):
             return self._lease(at_ms, found, command)
-        if isinstance(command, Used):
+        if isinstance(command, ReportUsage):
             newest = int(at_ms // SLICE_MS)
             found.tally.note(command.by, command.slices, found.rate, newest)
             found.tally.settle(newest - SETTLED_SLICES, found.rate, found.parts.depth)
-            return Applied()
-        if isinstance(command, TurnFloor):
+            return ApplyResult()
+        if isinstance(command, SwitchVersion):
             if found.tally.told or found.tally.owed:
                 found.tally.settle(int(at_ms // SLICE_MS) - SETTLED_SLICES, found.rate, found.parts.depth)
-            return Applied(found.version)
-        return Applied(error=BadCall("floors", f"unknown command {command.command_name()}"))
+            return ApplyResult(found.version)
+        return ApplyResult(error=InvalidCall("floors", f"unknown command {command.command_name()}"))
 
-    def _open(self, at_ms: float, command: Open) -> Applied:
+    def _open(self, at_ms: float, command: OpenContract) -> ApplyResult:
         for name in [name for name, one in self.held.items() if self._past(at_ms, one)]:
             del self.held[name]
         found = self.held.get(command.contract)
         if found is None:
             if len(self.held) >= MOST_FLOORS:
-                return Applied(
-                    error=Crowded(command.contract, f"{MOST_FLOORS} contracts are open in this group")
+                return ApplyResult(
+                    error=Overloaded(command.contract, f"{MOST_FLOORS} contracts are open in this group")
                 )
-            found = self.held[command.contract] = Floor(
-                command.tenant, 0, 0.0, [], Divided(0.0, 0.0, even=False)
+            found = self.held[command.contract] = GuaranteedRate(
+                command.tenant, 0, 0.0, [], LeasePool(0.0, 0.0, even=False)
             )
         self._turn(at_ms, found)
         if command.version > found.version:
@@ -1139,19 +1169,19 @@
                 self._take(found, command)
             elif found.coming is None or command.version > found.coming.version:
                 found.coming = command
-        return Applied(found.version)
+        return ApplyResult(found.version)
 
-    def _past(self, at_ms: float, one: Floor) -> bool:
+    def _past(self, at_ms: float, one: GuaranteedRate) -> bool:
         """Whether the last window is over and the last lease as well."""
         last = one.times[-1][1] if one.times else 0.0
         return one.coming is None and not one.parts.held and at_ms > last + 10 * self._timings.outlast()
 
-    def _turn(self, at_ms: float, one: Floor) -> None:
+    def _turn(self, at_ms: float, one: GuaranteedRate) -> None:
         """A version that is coming holds from its moment."""
         if one.coming is not None and at_ms >= one.coming.holds_from_ms:
             self._take(one, one.coming)
 
-    def _take(self, one: Floor, opened: Open) -> None:
+    def _take(self, one: GuaranteedRate, opened: OpenContract) -> None:
         first = one.version == 0
         one.version, one.rate, one.times, one.tenant = (
             opened.version,
@@ -1166,12 +1196,14 @@
             one.coming = None
         one.switch = self.last
 
-    def _lease(self, at_ms: float, found: Floor, command: Lease) -> Applied:
+    def _lease(self, at_ms: float, found: GuaranteedRate, command: RequestLease) -> ApplyResult:
         known = found.answers.get(command.holder)
         if known is not None and known[0] == command.id:
-            return Applied(known[1])
+            return ApplyResult(known[1])
         if found.stale(command):
-            return Applied(error=LeaseOver(command.holder, "a later call of this holder was taken already"))
+            return ApplyResult(
+                error=LeaseExpired(command.holder, "a later call of this holder was taken already")
+            )
         span = next((span for span in found.times if span[0] - EARLY_MS <= at_ms < span[1]), None)
         # Outside of a window nothing is granted; what a holder says that it keeps counts until it is told
         # better.
@@ -1190,8 +1222,8 @@
             command.least,
             command.pulls,
         )
-        if not isinstance(given, Grant):
-            return Applied(error=given)
+        if not isinstance(given, LeaseGrant):
+            return ApplyResult(error=given)
         if given.number:
             self._rules.check(
                 Rule.LEASE_ONCE,
@@ -1223,10 +1255,10 @@
             found.answers[command.holder] = command.id, value
         else:
             found.answers.pop(command.holder, None)
-        return Applied(value)
+        return ApplyResult(value)
 
     @staticmethod
-    def _until(found: Floor, span: Span) -> tuple[float, float]:
+    def _until(found: GuaranteedRate, span: Span) -> tuple[float, float]:
         """The moment at which a lease changes by itself, and by what factor: a window's end, or a
         version's moment."""
         coming = found.coming
@@ -1236,11 +1268,13 @@
         on = any(begin <= at < end for begin, end in coming.times)
         return at, min(coming.rate / found.rate, 1.0) if on else 0.0
 
-    def work(self, view: View) -> list[Command]:
+    def work(self, view: LeaderView) -> list[Command]:
         """End what is over by this machine's clock; say which versions hold."""
         self.seen(view.now)
         made: list[Command] = [
-            EndLease(id=f"end/{name}/{number}", tenant=one.tenant, contract=name, holder=who, number=number)
+            ReleaseLease(
+                id=f"end/{name}/{number}", tenant=one.tenant, contract=name, holder=who, number=number
+            )
             for name, one in self.held.items()
             for who, number in one.parts.over(view.now, self._timings.outlast(), view.lead_since)
         ]
@@ -1250,15 +1284,15 @@
             if one.version and one.through()
         }
         made += [
-            Told(id=asked, contract=wanted[asked][0], version=wanted[asked][1].version)
+            VersionDrained(id=asked, contract=wanted[asked][0], version=wanted[asked][1].version)
             for asked in due(self._told, wanted, view.now)
         ]
         for one in self.held.values():  # a version whose moment has come, though nobody asks for a part
             if one.coming is not None and view.wall >= one.coming.holds_from_ms:
-                made.append(TurnFloor(id="turn", tenant=one.tenant, contract=one.coming.contract))
+                made.append(SwitchVersion(id="turn", tenant=one.tenant, contract=one.coming.contract))
         over = int((view.wall - REST_MS) // SLICE_MS) - SETTLED_SLICES
         made += [
-            TurnFloor(id="tally", tenant=one.tenant, contract=name)
+            SwitchVersion(id="tally", tenant=one.tenant, contract=name)
             for name, one in self.held.items()
             if (one.tally.owed > EDGE and over > one.tally.last)
             or (one.tally.told and over > min(one.tally.told))
@@ -1269,7 +1303,7 @@
             if one.tally.short > EDGE
         }
         made += [
-            Short(
+            ReportShortfall(
                 id=asked,
                 contract=shorts[asked][0],
                 by="-",
@@ -1335,17 +1369,17 @@
         """See badgeryoke.cluster.state_machine.part."""
         self.last, self.held, self._told, self._shorts = raw[0], {}, {}, {}
         for name, tenant, version, rate, times, parts, coming, switch, answers, orders, tally in raw[1]:
-            self.held[name] = Floor(
+            self.held[name] = GuaranteedRate(
                 tenant,
                 version,
                 rate,
                 [(a, b) for a, b in times],
-                Divided.load(parts),
-                msgspec.convert(coming, Open | None),
+                LeasePool.load(parts),
+                msgspec.convert(coming, OpenContract | None),
                 switch,
                 {who: (asked, value) for who, (asked, value) in answers.items()},
                 orders,
-                Tally(
+                UsageTally(
                     {at: {who: (asked, drawn) for who, (asked, drawn) in by.items()} for at, by in tally[0]},
                     dict(tally[1]),
                     *tally[2:],
--- a/badgeryoke/cluster/reservations/lease_client.py
+++ b/badgeryoke/cluster/reservations/lease_client.py
@@ -28,21 +28,21 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from badgeryoke.cluster.errors import BadCall, FleetError, LeaseOver, NotThere
+from badgeryoke.cluster.errors import ClusterError, InvalidCall, LeaseExpired, NotFound
 from badgeryoke.cluster.leases.lease_pool import EDGE, STANDBY
-from badgeryoke.cluster.messages import Id
+from badgeryoke.cluster.messages import MemberId
 from badgeryoke.cluster.reservations.contract import (
     COARSE,
     EARLY_MS,
     LONGEST_WAIT_MS,
     MOST_TOLD,
     SLICE_MS,
-    ContractsKnown,
-    Lease,
-    Short,
-    Used,
+    PollContracts,
+    ReportShortfall,
+    ReportUsage,
+    RequestLease,
 )
-from badgeryoke.cluster.state_machine.part import Applied, Command
+from badgeryoke.cluster.state_machine.part import ApplyResult, Command
 from badgeryoke.cluster.timings import Timings
 
 KNOWN_MS = 1000.0  # between two looks at what contracts there are; at 100 gateways and more 10 ms for each
@@ -80,7 +80,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Reserved:
+class ReservedUnits:
     """Units drawn under a lease: the request goes before all others, and is refused for no quota and no
     load."""
 
@@ -146,7 +146,7 @@
 
 
 @dataclass(slots=True)
-class Stake:
+class ContractLease:
     """What this gateway holds of one contract."""
 
     contract: str
@@ -171,7 +171,7 @@
     holders: int = 0
     wish: float = 0.0
     pulls: bool = True  # requests are so few that units are drawn for each, and no part is held
-    out: Lease | None = None
+    out: RequestLease | None = None
     asked: float = 0.0  # when `out` was made first
     again: float = math.inf  # when to make it again
     sent: float = -math.inf
@@ -292,18 +292,20 @@
     """Nobody is to be woken."""
 
 
-class Floor:
+class ReservationClient:
     """All stakes of one gateway; a `badgeryoke.cluster.node_setup.Holder`.
 
     `me`: this member; `process`: drawn at each start, so that no id and no total of a process before is
     meant.
     """
 
-    def __init__(self, me: Id, process: str, timings: Timings, hall: str = "", gateways: int = 1) -> None:
+    def __init__(
+        self, me: MemberId, process: str, timings: Timings, hall: str = "", gateways: int = 1
+    ) -> None:
         self._me, self._process, self._timings, self._hall = me, process, timings, hall
         self.known_ms = max(KNOWN_MS, 10.0 * gateways)
-        self.stakes: dict[str, Stake] = {}
-        self._of: dict[int, list[Stake]] = {}
+        self.stakes: dict[str, ContractLease] = {}
+        self._of: dict[int, list[ContractLease]] = {}
         self._known, self._look = -1, -math.inf
         self._out: dict[str, Command] = {}  # one call of each key at a time
         self._made = 0
@@ -323,9 +325,9 @@
     def _line(command: Command) -> str:
         """Calls of one line are made one after the other; what is reported waits for no lease, and no
         lease for it."""
-        return f"{command.key()}#" if isinstance(command, Used) else command.key()
+        return f"{command.key()}#" if isinstance(command, ReportUsage) else command.key()
 
-    def _soon(self, now: float, one: Stake) -> None:
+    def _soon(self, now: float, one: ContractLease) -> None:
         """It asks for more as soon as it may, if it has too little."""
         if one.out is None and (one.waiting or one.part <= 0.0 or one.lacks(one.wish)):
             due = max(one.sent + one.pause, now)
@@ -361,7 +363,7 @@
             )
             if cause is not None and now >= one.shorts:
                 one.shorts = now + REPORT_MS
-                yield Short(
+                yield ReportShortfall(
                     id=self._id(),
                     contract=one.contract,
                     by=f"{self._me}#{self._process}",
@@ -372,16 +374,16 @@
                 return
         if now >= self._look + self.known_ms:
             self._look = now
-            yield ContractsKnown(id=self._id(), have=self._known)
+            yield PollContracts(id=self._id(), have=self._known)
 
-    def _used(self, now: float, wall: float, one: Stake) -> Used | None:
+    def _used(self, now: float, wall: float, one: ContractLease) -> ReportUsage | None:
         """What was asked for and drawn, in slices that are over and can change no more."""
         last = int((one.time(now, wall) - WAIT_MS - LATE_TURN_MS) // SLICE_MS)
         told = [(number, asked, drawn) for number, (asked, drawn) in one.slices.items() if number < last][
             :MOST_TOLD
         ]
         return (
-            Used(
+            ReportUsage(
                 id=self._id(),
                 tenant=one.tenant,
                 contract=one.contract,
@@ -396,7 +398,7 @@
         self._made += 1
         return f"{self._me}#{self._process}/{self._made}"
 
-    def _lease(self, now: float, wall: float, one: Stake) -> Lease | None:
+    def _lease(self, now: float, wall: float, one: ContractLease) -> RequestLease | None:
         if one.out is not None:
             if now < one.again:
                 return None
@@ -442,8 +444,15 @@
         )
 
     def _ask(
-        self, now: float, one: Stake, keep: float, wish: float, soft: bool, stay: bool, urgent: bool = False
-    ) -> Lease:
+        self,
+        now: float,
+        one: ContractLease,
+        keep: float,
+        wish: float,
+        soft: bool,
+        stay: bool,
+        urgent: bool = False,
+    ) -> RequestLease:
         """Use less from here on, then say so."""
         hold = min(one.cap, max(one.fair_cap, min(one.level, one.queued()))) if stay else 0.0
         standby = one.burst() * STANDBY / (one.holders + 1)
@@ -469,7 +478,7 @@
         need = (standby if wish <= 0.0 and stay else one.queued()) - one.level
         if stay and (one.holders == 1 or one.number == 0):
             need = max(need, min(hold, one.fair_cap) - one.level)
-        one.out = Lease(
+        one.out = RequestLease(
             id=self._id(),
             tenant=one.tenant,
             contract=one.contract,
@@ -488,30 +497,30 @@
         )
         return one.out
 
-    def answered(self, now: float, command: Command, result: Applied | FleetError) -> None:
+    def answered(self, now: float, command: Command, result: ApplyResult | ClusterError) -> None:
         """See badgeryoke.cluster.node_setup.Holder."""
         if self._out.get(self._line(command)) is command:
             del self._out[self._line(command)]
-        error = result if isinstance(result, FleetError) else result.error
-        value: Any = result.value if isinstance(result, Applied) else None
-        if isinstance(command, ContractsKnown):
+        error = result if isinstance(result, ClusterError) else result.error
+        value: Any = result.value if isinstance(result, ApplyResult) else None
+        if isinstance(command, PollContracts):
             if error is None and "contracts" in value:
                 self._learn(now, value["known"], value["contracts"])
-        elif isinstance(command, Used):
+        elif isinstance(command, ReportUsage):
             if error is None and command.contract in self.stakes:
                 for number, *_ in command.slices:
                     self.stakes[command.contract].slices.pop(number, None)
-        elif isinstance(command, Short):
+        elif isinstance(command, ReportShortfall):
             if error is None and command.contract in self.stakes:
                 told = self.stakes[command.contract].told
                 told[command.cause] = max(told.get(command.cause, 0.0), command.units)
-        elif isinstance(command, Lease):
+        elif isinstance(command, RequestLease):
             one = self.stakes.get(command.contract)
             if one is not None and one.out is not None and one.out.id == command.id:
                 self._answered(now, one, error, value)
                 self._soon(now, one)
 
-    def _answered(self, now: float, one: Stake, error: FleetError | None, value: Any) -> None:
+    def _answered(self, now: float, one: ContractLease, error: ClusterError | None, value: Any) -> None:
         one.fill(now, now + self._ahead)
         if error is None:
             one.out, one.again = None, math.inf
@@ -530,13 +539,14 @@
             if now < one.ends:
                 one.part, one.cap = value["part"], value["cap"]
                 one.level = min(one.level + value["room"], one.cap)
-        elif isinstance(error, LeaseOver | BadCall):  # it is over there, and so here; what it was is lost
+        # it is over there, and so here; what it was is lost
+        elif isinstance(error, LeaseExpired | InvalidCall):
             one.out, one.again, one.number = None, math.inf, 0
             one.part = one.cap = one.level = 0.0
             one.refused += 1
             one.pause = min(RETRY_MS * 2.0 ** min(one.refused, 8), RETRY_MOST_MS)
             one.sent = now
-        elif isinstance(error, NotThere):  # not open there yet, or no more
+        elif isinstance(error, NotFound):  # not open there yet, or no more
             one.out, one.again = None, math.inf
             one.sent, one.pause = now, RETRY_MOST_MS
         else:  # it may have been taken: only the same call can tell
@@ -545,12 +555,12 @@
 
     def _learn(self, now: float, known: int, contracts: list[dict[str, Any]]) -> None:
         self._known = known
-        kept: dict[str, Stake] = {}
+        kept: dict[str, ContractLease] = {}
         for facts in contracts:
             if facts["hall"] and facts["hall"] != self._hall:
                 continue
             name = facts["contract"]
-            one = kept[name] = self.stakes.get(name) or Stake(
+            one = kept[name] = self.stakes.get(name) or ContractLease(
                 name, facts["tenant"], facts["rank"], facts, [], filled=now
             )
             one.facts, one.rank = facts, facts["rank"]
@@ -567,7 +577,7 @@
             for customer in sorted({customer for _, some in one.customers for customer in some}):
                 self._of.setdefault(customer, []).append(one)
 
-    def take(self, now: float, customer: int, units: float) -> Reserved | None:
+    def take(self, now: float, customer: int, units: float) -> ReservedUnits | None:
         """Draw from the first contract of a customer that has room here.  None: `wait`, or it is an
         ordinary request."""
         for one in self._open(now, customer):
@@ -575,7 +585,7 @@
             if not one.waiting and one.draw(now, now + self._ahead, units, one.noted):
                 if one.part <= 0.0:
                     self._soon(now, one)
-                return Reserved(one.contract, units, one.rank)
+                return ReservedUnits(one.contract, units, one.rank)
         return None
 
     def wait(self, now: float, customer: int, units: float, token: Any) -> bool:
@@ -593,9 +603,9 @@
             self._soon(now, one)
         return False
 
-    def turns(self, now: float) -> list[tuple[Any, Reserved | None]]:
+    def turns(self, now: float) -> list[tuple[Any, ReservedUnits | None]]:
         """Who has waited and has its turn now, or none in time."""
-        made: list[tuple[Any, Reserved | None]] = []
+        made: list[tuple[Any, ReservedUnits | None]] = []
         wall = now + self._ahead
         for one in self.stakes.values():
             while one.waiting:
@@ -605,10 +615,10 @@
                 if not drawn and now <= until and one.fits(units):
                     break
                 one.waiting.popleft()
-                made.append((token, Reserved(one.contract, units, one.rank) if drawn else None))
+                made.append((token, ReservedUnits(one.contract, units, one.rank) if drawn else None))
         return made
 
-    def _open(self, now: float, customer: int) -> Iterator[Stake]:
+    def _open(self, now: float, customer: int) -> Iterator[ContractLease]:
         wall = now + self._ahead
         for one in self._of.get(customer, ()):
             times = one.times(wall)
@@ -620,7 +630,7 @@
                 one.fill(now, wall)
                 yield one
 
-    def failed(self, now: float, reserved: Reserved, cause: str) -> None:
+    def failed(self, now: float, reserved: ReservedUnits, cause: str) -> None:
         """Units drawn under a contract that no server served: short, by a cause ("load", "server lost",
         ...)."""
         if (one := self.stakes.get(reserved.contract)) is not None:
--- a/badgeryoke/cluster/reservations/priority_shedding.py
+++ b/badgeryoke/cluster/reservations/priority_shedding.py
@@ -15,7 +15,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Claim:
+class CapacityClaim:
     """One contract: what is asked for within it now, and what it holds here, units a second."""
 
     contract: str
@@ -30,7 +30,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Split:
+class CapacitySplit:
     """Units a second: for each contract, what each is short, and what is left for all others."""
 
     contracts: dict[str, float]
@@ -38,12 +38,12 @@
     others: float
 
 
-def split(capacity: float, claims: Iterable[Claim]) -> Split:
+def split(capacity: float, claims: Iterable[CapacityClaim]) -> CapacitySplit:
     """Divide a capacity.  Needs of the same class shrink by the same factor."""
     left = max(capacity, 0.0)
     made: dict[str, float] = {}
     short: dict[str, float] = {}
-    classes: dict[int, list[Claim]] = {}
+    classes: dict[int, list[CapacityClaim]] = {}
     for one in claims:
         classes.setdefault(one.rank, []).append(one)
     for rank in sorted(classes):
@@ -53,7 +53,7 @@
             made[one.contract] = one.need * part
             short[one.contract] = one.need * (1.0 - part)
         left -= need * part
-    return Split(made, short, max(left, 0.0))
+    return CapacitySplit(made, short, max(left, 0.0))
 
 
 @dataclass(slots=True)
@@ -70,13 +70,13 @@
 
 
 @dataclass(slots=True)
-class Share:
+class CapacityShares:
     """One gateway's flows.  `set` them as capacity and demand change; `may` asks for one request."""
 
     flows: dict[str, _Flow] = field(default_factory=dict)  # "" are all others
-    last: Split = field(default_factory=lambda: Split({}, {}, 0.0))
+    last: CapacitySplit = field(default_factory=lambda: CapacitySplit({}, {}, 0.0))
 
-    def set(self, now: float, capacity: float, claims: Iterable[Claim]) -> Split:
+    def set(self, now: float, capacity: float, claims: Iterable[CapacityClaim]) -> CapacitySplit:
         """Divide anew; what is not named any more is forgotten."""
         self.last = split(capacity, claims)
         rates = {"": self.last.others, **self.last.contracts}
--- a/badgeryoke/cluster/rolling_restart/restart.py
+++ b/badgeryoke/cluster/rolling_restart/restart.py
@@ -21,10 +21,10 @@
 
 import msgspec
 
-from badgeryoke.cluster.errors import BadCall, FleetError, NotThere, TakenId, WrongState
+from badgeryoke.cluster.errors import ClusterError, DuplicateId, InvalidCall, NotFound, WrongState
 from badgeryoke.cluster.invariants import Invariants, Rule
-from badgeryoke.cluster.messages import Id, name_of
-from badgeryoke.cluster.state_machine.part import Applied, Command, View
+from badgeryoke.cluster.messages import MemberId, member_name
+from badgeryoke.cluster.state_machine.part import ApplyResult, Command, LeaderView
 
 MOST_ROLLS = 16  # kept, the ended ones among them; the oldest ended goes first
 MOST_GATEWAYS = 1024
@@ -40,7 +40,7 @@
 GRANT_MS = 50.0  # beside a reading's time: others grow before the wave's gateways turn clients away
 
 
-class State(Enum):
+class RestartState(Enum):
     """Of a roll."""
 
     ASKED = "asked"
@@ -53,7 +53,7 @@
     FAILED = "failed"
 
 
-class Turn(Enum):
+class RestartEvent(Enum):
     """What happens to a roll."""
 
     SEEN = "a leader has taken it up"
@@ -65,8 +65,8 @@
     FINISHED = "none of its gateways is under way or waits"
 
 
-S, T = State, Turn
-TURNS: dict[tuple[State, Turn], State] = {
+S, T = RestartState, RestartEvent
+TURNS: dict[tuple[RestartState, RestartEvent], RestartState] = {
     (S.ASKED, T.SEEN): S.PLANNING,
     (S.ASKED, T.CANCEL): S.CANCELLED,
     (S.PLANNING, T.PLANNED): S.RUNNING,
@@ -84,7 +84,7 @@
 ENDED = frozenset({S.CANCELLED, S.DONE, S.FAILED})
 
 
-class Stand(Enum):
+class GatewayPhase(Enum):
     """Of one gateway in a roll, in the order in which it goes."""
 
     WAITING = "waiting"
@@ -100,7 +100,7 @@
     UNDONE = "undone"
 
 
-class Step(Enum):
+class GatewayEvent(Enum):
     """What happens to one gateway."""
 
     BEGIN = "its wave begins"
@@ -117,8 +117,8 @@
     LOST = "it is dead, and will serve when it comes back"
 
 
-G, E = Stand, Step
-STEPS: dict[tuple[Stand, Step], Stand] = {
+G, E = GatewayPhase, GatewayEvent
+STEPS: dict[tuple[GatewayPhase, GatewayEvent], GatewayPhase] = {
     (G.WAITING, E.BEGIN): G.GRANTING,
     (G.WAITING, E.CANCEL): G.UNDONE,
     (G.GRANTING, E.ROOMY): G.PAUSING,
@@ -143,12 +143,13 @@
     (G.UNDOING, E.BACK): G.UNDONE,
     (G.UNDOING, E.LOST): G.UNDONE,
 }
-RANK = {stand: place for place, stand in enumerate(Stand)}
+RANK = {stand: place for place, stand in enumerate(GatewayPhase)}
 OVER = frozenset({G.DONE, G.UNDONE})
 AWAY = frozenset({G.GRANTING, G.PAUSING, G.EMPTYING, G.ACTING, G.HELD, G.RETURNING, G.UNDOING})
 UNDER_WAY = AWAY | {G.WARMING}
 DRAINED = frozenset({G.PAUSING, G.EMPTYING, G.ACTING, G.HELD})
-REPORTS: dict[str, Step | None] = {  # what a gateway says, and the step it makes; none: the leader makes it
+# what a gateway says, and the step it makes; none: the leader makes it
+REPORTS: dict[str, GatewayEvent | None] = {
     "ready": None,
     "paused": E.PAUSED,
     "empty": None,
@@ -160,7 +161,7 @@
 NEEDS = {E.ROOMY: "ready", E.ACT: "empty", E.HOLD: "empty"}  # what the gateway must have said before
 
 
-class Facts(msgspec.Struct, frozen=True, array_like=True):
+class ClusterConditions(msgspec.Struct, frozen=True, array_like=True):
     """On what a leader decided that gateways may go: counted by `count`, beside the choice of them."""
 
     missing: int  # copies that are dead or behind, but for those of gateways that a wave has ended
@@ -193,7 +194,7 @@
     )
 
 
-class RollAsk(Command, frozen=True, tag="RollAsk"):
+class StartRollingRestart(Command, frozen=True, tag="RollAsk"):
     """Drain gateways: by name, or of a hall, or all.  `deadline_ms`: for one to become empty, and to come
     back."""
 
@@ -223,14 +224,14 @@
         return _texts(roll=self.roll, hall=self.hall, reason=self.reason)
 
 
-class RollCancel(Command, frozen=True, tag="RollCancel"):
+class CancelRollingRestart(Command, frozen=True, tag="RollCancel"):
     """Take a roll back: whoever is drained serves again, whoever has left comes back, nobody else is
     drained."""
 
     roll: str
 
 
-class RollResume(Command, frozen=True, tag="RollResume"):
+class ResumeGateway(Command, frozen=True, tag="RollResume"):
     """Let go who is held, all or one by name; `force`: act on those that do not become empty, at their
     loss."""
 
@@ -239,7 +240,7 @@
     force: bool = False
 
 
-class RollTurn(Command, frozen=True, tag="RollTurn"):
+class RecordRestartEvent(Command, frozen=True, tag="RollTurn"):
     """A turn of the roll, by the leader."""
 
     roll: str
@@ -250,27 +251,27 @@
     members: int = 0
 
 
-class RollWave(Command, frozen=True, tag="RollWave"):
+class StartWave(Command, frozen=True, tag="RollWave"):
     """A wave begins, by the leader."""
 
     roll: str
     stamp: int
     gateways: tuple[str, ...]
-    facts: Facts
+    facts: ClusterConditions
 
 
-class RollStep(Command, frozen=True, tag="RollStep"):
+class RecordGatewayEvent(Command, frozen=True, tag="RollStep"):
     """A step of one gateway, by the leader."""
 
     roll: str
     gateway: str
     round: int
     step: str  # a Step's name
-    facts: Facts | None = None
+    facts: ClusterConditions | None = None
     stamp: int = -1  # the roll's count of changes on which the facts were counted, where there are any
 
 
-class RollReport(Command, frozen=True, tag="RollReport"):
+class ReportGateway(Command, frozen=True, tag="RollReport"):
     """What a gateway has done.  Answered as RollRead."""
 
     roll: str
@@ -285,29 +286,41 @@
         return _texts(process=self.process) or ("" if self.process else "process: expected a name")
 
 
-class RollRead(Command, frozen=True, tag="RollRead"):
+class ReadDesiredState(Command, frozen=True, tag="RollRead"):
     """Where a gateway stands."""
 
     reads: ClassVar[bool] = True
     gateway: str
 
 
-class RollsRead(Command, frozen=True, tag="RollsRead"):
+class ReadRollingRestarts(Command, frozen=True, tag="RollsRead"):
     """Every roll that is kept, for operators: its state, why, and where each gateway stands."""
 
     reads: ClassVar[bool] = True
 
 
 # The others are the fleet's own.
-OPERATORS: tuple[type[Command], ...] = (RollAsk, RollCancel, RollResume, RollRead, RollsRead)
-COMMANDS: tuple[type[Command], ...] = (*OPERATORS, RollTurn, RollWave, RollStep, RollReport)
+OPERATORS: tuple[type[Command], ...] = (
+    StartRollingRestart,
+    CancelRollingRestart,
+    ResumeGateway,
+    ReadDesiredState,
+    ReadRollingRestarts,
+)
+COMMANDS: tuple[type[Command], ...] = (
+    *OPERATORS,
+    RecordRestartEvent,
+    StartWave,
+    RecordGatewayEvent,
+    ReportGateway,
+)
 
 
 @dataclass(slots=True)
-class Gateway:
+class GatewayProgress:
     """One gateway in a roll."""
 
-    stand: Stand = G.WAITING
+    stand: GatewayPhase = G.WAITING
     round: int = 0
     since: float = 0.0  # group's time of its last step
     told: str = ""  # what it has said in this round
@@ -316,17 +329,17 @@
 
 
 @dataclass(slots=True)
-class Roll:
+class RollingRestart:
     """One roll."""
 
     name: str
-    ask: RollAsk
-    state: State = S.ASKED
+    ask: StartRollingRestart
+    state: RestartState = S.ASKED
     since: float = 0.0
     why: str = ""
     changes: int = 0  # of it and its gateways; a leader's command names the count it saw
     members: int = 1
-    gateways: dict[str, Gateway] = field(default_factory=dict)
+    gateways: dict[str, GatewayProgress] = field(default_factory=dict)
 
     def under_way(self) -> list[str]:
         """Who is in a wave."""
@@ -337,12 +350,12 @@
         return max(READ_MS, PER_MEMBER_MS * self.members)
 
 
-class Rolls:
+class RollingRestarts:
     """The part of the fleet's group that holds its rolls; one at a time is under way."""
 
     def __init__(self, rules: Invariants) -> None:
         self._rules = rules
-        self.rolls: dict[str, Roll] = {}
+        self.rolls: dict[str, RollingRestart] = {}
         self._blocked: tuple[str, str, float] = (
             "",
             "",
@@ -350,56 +363,58 @@
         )  # roll, kind of obstacle, since when: the leader's own
 
     @property
-    def active(self) -> Roll | None:
+    def active(self) -> RollingRestart | None:
         """The one under way."""
         return next((roll for roll in self.rolls.values() if roll.state not in ENDED), None)
 
     # What is applied.
 
-    def apply(self, at_ms: float, command: Any) -> Applied:
+    def apply(self, at_ms: float, command: Any) -> ApplyResult:
         """See badgeryoke.cluster.state_machine.part."""
         if said := command.fault():
-            return Applied(error=BadCall("roll", said))
-        if isinstance(command, RollRead):
-            return Applied(self.where(command.gateway))
-        if isinstance(command, RollAsk):
+            return ApplyResult(error=InvalidCall("roll", said))
+        if isinstance(command, ReadDesiredState):
+            return ApplyResult(self.where(command.gateway))
+        if isinstance(command, StartRollingRestart):
             return self._ask(at_ms, command)
         roll = self.rolls.get(command.roll) if hasattr(command, "roll") else None
         if roll is None:
-            return Applied(
-                error=NotThere(str(getattr(command, "roll", "roll")), "no roll of that name is known")
+            return ApplyResult(
+                error=NotFound(str(getattr(command, "roll", "roll")), "no roll of that name is known")
             )
-        if isinstance(command, RollCancel):
+        if isinstance(command, CancelRollingRestart):
             return self._cancel(at_ms, roll)
-        if isinstance(command, RollResume):
+        if isinstance(command, ResumeGateway):
             return self._resume(at_ms, roll, command)
-        if isinstance(command, RollTurn):
+        if isinstance(command, RecordRestartEvent):
             return self._turn(at_ms, roll, command)
-        if isinstance(command, RollWave):
+        if isinstance(command, StartWave):
             return self._wave(at_ms, roll, command)
-        if isinstance(command, RollStep):
+        if isinstance(command, RecordGatewayEvent):
             return self._step(at_ms, roll, command)
-        if isinstance(command, RollReport):
+        if isinstance(command, ReportGateway):
             return self._report(at_ms, roll, command)
-        return Applied(error=BadCall("roll", f"unknown command {command.command_name()}"))
+        return ApplyResult(error=InvalidCall("roll", f"unknown command {command.command_name()}"))
 
-    def look(self, command: RollRead | RollsRead) -> Applied:
+    def look(self, command: ReadDesiredState | ReadRollingRestarts) -> ApplyResult:
         """Read where one gateway stands, or every roll."""
-        return Applied(self.told() if isinstance(command, RollsRead) else self.where(command.gateway))
+        return ApplyResult(
+            self.told() if isinstance(command, ReadRollingRestarts) else self.where(command.gateway)
+        )
 
-    def _ask(self, at_ms: float, command: RollAsk) -> Applied:
+    def _ask(self, at_ms: float, command: StartRollingRestart) -> ApplyResult:
         if command.roll in self.rolls:
-            return Applied(error=WrongState(command.roll, "a roll of that name is known already"))
+            return ApplyResult(error=WrongState(command.roll, "a roll of that name is known already"))
         if (other := self.active) is not None:
-            return Applied(
+            return ApplyResult(
                 error=WrongState(command.roll, f"{other.name} is {other.state.value}: one roll at a time")
             )
         while len(self.rolls) >= MOST_ROLLS:
             del self.rolls[next(iter(self.rolls))]  # all have ended, the first longest ago
-        self.rolls[command.roll] = Roll(command.roll, command, since=at_ms)
-        return Applied({"roll": command.roll, "state": S.ASKED.value})
+        self.rolls[command.roll] = RollingRestart(command.roll, command, since=at_ms)
+        return ApplyResult({"roll": command.roll, "state": S.ASKED.value})
 
-    def _move(self, at_ms: float, roll: Roll, turn: Turn, why: str = "") -> bool:
+    def _move(self, at_ms: float, roll: RollingRestart, turn: RestartEvent, why: str = "") -> bool:
         after = TURNS.get((roll.state, turn))
         if after is None:
             return False
@@ -407,7 +422,7 @@
         roll.changes += 1
         return True
 
-    def _go(self, at_ms: float, roll: Roll, name: str, step: Step) -> bool:
+    def _go(self, at_ms: float, roll: RollingRestart, name: str, step: GatewayEvent) -> bool:
         """One gateway's step, and the roll's end where it was the last."""
         one = roll.gateways[name]
         after = STEPS.get((one.stand, step))
@@ -426,16 +441,16 @@
             self._move(at_ms, roll, T.FINISHED, roll.why)
         return True
 
-    def _cancel(self, at_ms: float, roll: Roll) -> Applied:
+    def _cancel(self, at_ms: float, roll: RollingRestart) -> ApplyResult:
         if not self._move(at_ms, roll, T.CANCEL, "cancelled"):
-            return Applied(error=WrongState(roll.name, f"it is {roll.state.value}"))
+            return ApplyResult(error=WrongState(roll.name, f"it is {roll.state.value}"))
         for name in roll.gateways:
             self._go(at_ms, roll, name, E.CANCEL)
-        return Applied(self._tell(roll))
+        return ApplyResult(self._tell(roll))
 
-    def _resume(self, at_ms: float, roll: Roll, command: RollResume) -> Applied:
+    def _resume(self, at_ms: float, roll: RollingRestart, command: ResumeGateway) -> ApplyResult:
         if command.gateway and command.gateway not in roll.gateways:
-            return Applied(error=NotThere(command.gateway, f"not in {roll.name}"))
+            return ApplyResult(error=NotFound(command.gateway, f"not in {roll.name}"))
         moved = 0
         for name in [command.gateway] if command.gateway else list(roll.gateways):
             one = roll.gateways[name]
@@ -446,26 +461,26 @@
                 roll.changes += 1
                 moved += 1
         if not moved:
-            return Applied(
+            return ApplyResult(
                 error=WrongState(roll.name, "nobody there is held, or, with force, waits to become empty")
             )
-        return Applied(self._tell(roll))
+        return ApplyResult(self._tell(roll))
 
-    def _turn(self, at_ms: float, roll: Roll, command: RollTurn) -> Applied:
-        turn = Turn.__members__.get(command.turn)
+    def _turn(self, at_ms: float, roll: RollingRestart, command: RecordRestartEvent) -> ApplyResult:
+        turn = RestartEvent.__members__.get(command.turn)
         if command.stamp != roll.changes or turn in (None, T.CANCEL, T.FINISHED):
-            return Applied(error=WrongState(roll.name, "it has moved on"))
+            return ApplyResult(error=WrongState(roll.name, "it has moved on"))
         assert turn is not None
         if turn is T.PLANNED and (not command.order or len(set(command.order)) < len(command.order)):
-            return Applied(error=BadCall(roll.name, "order: expected gateways, each once"))
+            return ApplyResult(error=InvalidCall(roll.name, "order: expected gateways, each once"))
         if not self._move(at_ms, roll, turn, command.why):
-            return Applied(error=WrongState(roll.name, f"it is {roll.state.value}"))
+            return ApplyResult(error=WrongState(roll.name, f"it is {roll.state.value}"))
         if turn is T.PLANNED:
-            roll.gateways = {name: Gateway(since=at_ms) for name in command.order}
+            roll.gateways = {name: GatewayProgress(since=at_ms) for name in command.order}
             roll.members = max(command.members, 1)
-        return Applied(self._tell(roll))
+        return ApplyResult(self._tell(roll))
 
-    def _allowed(self, roll: Roll, facts: Facts | None) -> str:
+    def _allowed(self, roll: RollingRestart, facts: ClusterConditions | None) -> str:
         """Why gateways may not go; a leader that proposes it all the same has broken a rule."""
         found = facts.fault() if facts is not None else (Rule.WAVE_KEEPS_ROOM, "no facts")
         if found is None:
@@ -473,50 +488,51 @@
         self._rules.check(found[0], False, lambda: f"{roll.name}: {found[1]}")
         return found[1]
 
-    def _wave(self, at_ms: float, roll: Roll, command: RollWave) -> Applied:
+    def _wave(self, at_ms: float, roll: RollingRestart, command: StartWave) -> ApplyResult:
         if command.stamp != roll.changes or roll.state is not S.RUNNING:
-            return Applied(error=WrongState(roll.name, "it has moved on"))
+            return ApplyResult(error=WrongState(roll.name, "it has moved on"))
         if not 1 <= len(command.gateways) <= roll.ask.at_once or roll.under_way():
-            return Applied(
+            return ApplyResult(
                 error=WrongState(roll.name, "the wave before is under way, or this one is too large")
             )
         if any(
             name not in roll.gateways or roll.gateways[name].stand is not G.WAITING
             for name in command.gateways
         ):
-            return Applied(error=WrongState(roll.name, "not all of them wait"))
+            return ApplyResult(error=WrongState(roll.name, "not all of them wait"))
         if said := self._allowed(roll, command.facts):
-            return Applied(error=WrongState(roll.name, said))
+            return ApplyResult(error=WrongState(roll.name, said))
         for name in command.gateways:
             self._go(at_ms, roll, name, E.BEGIN)
-        return Applied(self._tell(roll))
+        return ApplyResult(self._tell(roll))
 
-    def _current(self, one: Gateway, round_: int) -> bool:
+    def _current(self, one: GatewayProgress, round_: int) -> bool:
         """Whether a step or a report was meant for where the gateway stands now."""
         return one.round == round_
 
-    def _step(self, at_ms: float, roll: Roll, command: RollStep) -> Applied:
-        one, step = roll.gateways.get(command.gateway), Step.__members__.get(command.step)
+    def _step(self, at_ms: float, roll: RollingRestart, command: RecordGatewayEvent) -> ApplyResult:
+        one, step = roll.gateways.get(command.gateway), GatewayEvent.__members__.get(command.step)
         if one is None or step not in LEADERS or not self._current(one, command.round):
-            return Applied(error=WrongState(roll.name, f"{command.gateway} has moved on"))
+            return ApplyResult(error=WrongState(roll.name, f"{command.gateway} has moved on"))
         if step in NEEDS:
             other = E.ACT if roll.ask.act == "hold" else E.HOLD
             if command.stamp != roll.changes:
-                return Applied(error=WrongState(roll.name, "it has moved on"))  # another may have left since
+                # another may have left since
+                return ApplyResult(error=WrongState(roll.name, "it has moved on"))
             if roll.state is not S.RUNNING or one.told != NEEDS[step] or step is other:
-                return Applied(error=WrongState(roll.name, f"{command.gateway} is not ready for that"))
+                return ApplyResult(error=WrongState(roll.name, f"{command.gateway} is not ready for that"))
             if said := self._allowed(roll, command.facts):
-                return Applied(error=WrongState(roll.name, said))
+                return ApplyResult(error=WrongState(roll.name, said))
         if step is E.LOST and roll.state is not S.CANCELLING:
-            return Applied(error=WrongState(roll.name, "it waits for who is lost"))
+            return ApplyResult(error=WrongState(roll.name, "it waits for who is lost"))
         if not self._go(at_ms, roll, command.gateway, step):
-            return Applied(error=WrongState(roll.name, f"{command.gateway} is {one.stand.value}"))
-        return Applied(self._tell(roll))
+            return ApplyResult(error=WrongState(roll.name, f"{command.gateway} is {one.stand.value}"))
+        return ApplyResult(self._tell(roll))
 
-    def _report(self, at_ms: float, roll: Roll, command: RollReport) -> Applied:
+    def _report(self, at_ms: float, roll: RollingRestart, command: ReportGateway) -> ApplyResult:
         one = roll.gateways.get(command.gateway)
         if one is None or not self._current(one, command.round):
-            return Applied(self.where(command.gateway))  # it learns where it stands
+            return ApplyResult(self.where(command.gateway))  # it learns where it stands
         step = REPORTS[command.what]
         if step is not None:
             # "back" is another process than the one whose wave began.
@@ -528,7 +544,7 @@
             if one.told != command.what:
                 one.told = command.what
                 roll.changes += 1
-        return Applied(self.where(command.gateway))
+        return ApplyResult(self.where(command.gateway))
 
     # What is read.
 
@@ -553,7 +569,7 @@
             "grow": 1.0 if one.stand in AWAY else grow,
         }
 
-    def _tell(self, roll: Roll) -> dict[str, Any]:
+    def _tell(self, roll: RollingRestart) -> dict[str, Any]:
         return {
             "roll": roll.name,
             "state": roll.state.value,
@@ -575,7 +591,9 @@
 
     # What the leader proposes.
 
-    def count(self, view: View, roll: Roll, wave: Iterable[str], leaving: str = "") -> Facts:
+    def count(
+        self, view: LeaderView, roll: RollingRestart, wave: Iterable[str], leaving: str = ""
+    ) -> ClusterConditions:
         """What would be left without the wave and those away already.  `leaving`: who of them would leave
         now; majorities are judged without that one and those that have left: the others' copies are there
         until they do.
@@ -590,28 +608,29 @@
         away = gone | set(wave)
         held = {name for name, one in roll.gateways.items() if one.stand is G.HELD}
         off = left | held | {leaving} if leaving else away
-        alive = {name_of(who) for who in view.alive}
+        alive = {member_name(who) for who in view.alive}
         missing, spare = 0, 1
         for (
             voters
         ) in view.groups.values():  # by their Ids: one that came back with another store is no copy yet
-            missing += sum(name_of(who) not in left and who not in view.alive for who in voters)
+            missing += sum(member_name(who) not in left and who not in view.alive for who in voters)
             spare = min(
                 spare,
-                sum(who in view.alive and name_of(who) not in off for who in voters) - (len(voters) // 2 + 1),
+                sum(who in view.alive and member_name(who) not in off for who in voters)
+                - (len(voters) // 2 + 1),
             )
-        missing += sum(name_of(who) not in left for found in view.behind.values() for who in found)
+        missing += sum(member_name(who) not in left for found in view.behind.values() for who in found)
         halls = {view.halls[name] for name in alive if name in view.halls}
         left = {view.halls[name] for name in alive - away if name in view.halls}
         short = 0 if roll.ask.hall_may_go and left else len(halls - left)
         have = -1.0
         if "capacity" in view.load:
             have = view.load["capacity"] * len(alive - away) / max(len(alive), 1)
-        return Facts(
+        return ClusterConditions(
             missing, spare, short, have, view.load.get("demand", 0.0) + view.load.get("promised", 0.0)
         )
 
-    def work(self, view: View) -> list[Command]:
+    def work(self, view: LeaderView) -> list[Command]:
         """The next steps whose conditions hold; or why there is none."""
         roll = self.active
         if roll is None:
@@ -626,7 +645,7 @@
             if one.stand is G.WARMING and view.wall - one.since >= roll.ask.warm_ms
         ]
         if roll.state is S.CANCELLING:
-            lost = {name_of(who): ms for who, ms in view.dead_for.items()}
+            lost = {member_name(who): ms for who, ms in view.dead_for.items()}
             made += [
                 self._stepped(roll, name, E.LOST)
                 for name, one in roll.gateways.items()
@@ -640,7 +659,9 @@
             soft, further = self._further(view, roll)
         return made + self._judged(view, roll, hard, soft, further)
 
-    def _judged(self, view: View, roll: Roll, hard: str, soft: str, further: list[Command]) -> list[Command]:
+    def _judged(
+        self, view: LeaderView, roll: RollingRestart, hard: str, soft: str, further: list[Command]
+    ) -> list[Command]:
         """Pause, go on, or do what comes next."""
         why = hard or soft
         kind = why.partition(":")[0]
@@ -658,9 +679,14 @@
         return further
 
     def _turned(
-        self, roll: Roll, turn: Turn, why: str = "", order: tuple[str, ...] = (), members: int = 0
-    ) -> RollTurn:
-        return RollTurn(
+        self,
+        roll: RollingRestart,
+        turn: RestartEvent,
+        why: str = "",
+        order: tuple[str, ...] = (),
+        members: int = 0,
+    ) -> RecordRestartEvent:
+        return RecordRestartEvent(
             id=f"roll/{roll.name}/{roll.changes}/{turn.name}",
             roll=roll.name,
             stamp=roll.changes,
@@ -670,11 +696,13 @@
             members=members,
         )
 
-    def _stepped(self, roll: Roll, name: str, step: Step, facts: Facts | None = None) -> RollStep:
+    def _stepped(
+        self, roll: RollingRestart, name: str, step: GatewayEvent, facts: ClusterConditions | None = None
+    ) -> RecordGatewayEvent:
         round_ = roll.gateways[name].round
         # The roll's count is in the id: a step refused where the roll stood then may be made where it stands
         # now.
-        return RollStep(
+        return RecordGatewayEvent(
             id=f"roll/{roll.name}/{roll.changes}/{name}/{round_}/{step.name}",
             roll=roll.name,
             gateway=name,
@@ -684,7 +712,7 @@
             stamp=roll.changes,
         )
 
-    def _plan(self, view: View, roll: Roll) -> RollTurn:
+    def _plan(self, view: LeaderView, roll: RollingRestart) -> RecordRestartEvent:
         """Who comes when: as asked for, and this leader last, so that it hands over once."""
         ask = roll.ask
         names = list(ask.gateways) or [
@@ -695,13 +723,13 @@
             return self._turned(
                 roll, T.IMPOSSIBLE, f"no such gateway: {', '.join(unknown)[:MOST_TEXT] or ask.hall}"
             )
-        names.sort(key=lambda name: name == name_of(view.me))
+        names.sort(key=lambda name: name == member_name(view.me))
         return self._turned(roll, T.PLANNED, order=tuple(names), members=len(view.halls))
 
-    def _failed(self, view: View, roll: Roll) -> str:
+    def _failed(self, view: LeaderView, roll: RollingRestart) -> str:
         """What has gone wrong with those under way.  Who left in order is not dead: a restart is seen as
         that for a moment when its process is back."""
-        dead = {name_of(who) for who in view.dead_for} - {name_of(who) for who in view.alive}
+        dead = {member_name(who) for who in view.dead_for} - {member_name(who) for who in view.alive}
         for name, one in roll.gateways.items():
             if one.stand not in UNDER_WAY:
                 continue
@@ -715,7 +743,7 @@
                 return f"{name} is late {one.stand.value}"
         return ""
 
-    def _further(self, view: View, roll: Roll) -> tuple[str, list[Command]]:
+    def _further(self, view: LeaderView, roll: RollingRestart) -> tuple[str, list[Command]]:
         """The step that could be made now, one since it changes the facts of the next, or what is in the
         way."""
         said = ""
@@ -735,9 +763,9 @@
             return said, []
         return self._next(view, roll)
 
-    def _next(self, view: View, roll: Roll) -> tuple[str, list[Command]]:
+    def _next(self, view: LeaderView, roll: RollingRestart) -> tuple[str, list[Command]]:
         """The next wave: in order, whoever fits beside those before."""
-        alive = {name_of(who) for who in view.alive}
+        alive = {member_name(who) for who in view.alive}
         wave: list[str] = []
         said = ""
         for name, one in roll.gateways.items():
@@ -754,7 +782,7 @@
         if not wave:
             return said, []
         return "", [
-            RollWave(
+            StartWave(
                 id=f"roll/{roll.name}/{roll.changes}/wave",
                 roll=roll.name,
                 stamp=roll.changes,
@@ -788,20 +816,20 @@
         """See badgeryoke.cluster.state_machine.part."""
         self.rolls = {}
         for ask, state, since, why, changes, members, gateways in raw:
-            asked = msgspec.convert(ask, RollAsk)
-            self.rolls[asked.roll] = Roll(
+            asked = msgspec.convert(ask, StartRollingRestart)
+            self.rolls[asked.roll] = RollingRestart(
                 asked.roll,
                 asked,
-                State[state],
+                RestartState[state],
                 since,
                 why,
                 changes,
                 members,
-                {name: Gateway(Stand[stand], *rest) for name, stand, *rest in gateways},
+                {name: GatewayProgress(GatewayPhase[stand], *rest) for name, stand, *rest in gateways},
             )
 
 
-class Duty(Enum):
+class DesiredState(Enum):
     """What a gateway has to do."""
 
     PAUSE = "the gateway's own drain"
@@ -810,19 +838,19 @@
 
 
 @dataclass(slots=True)
-class Rolled:
+class RollingRestartAgent:
     """A gateway's side.  The shell tells how it stands (`tell`), takes `duties`, and goes by the three
     flags."""
 
     me: str  # its name
-    process: Id  # this process: another one is another start
+    process: MemberId  # this process: another one is another start
     members: int = 1  # of the fleet
     moved: Callable[[], None] | None = None  # told that the stand is another, so that the shell looks at once
     paused: bool = False  # by a roll; what an operator paused is left alone
     left: bool = False
     record: dict[str, Any] = field(default_factory=dict)
     _ready: dict[str, bool] = field(default_factory=dict)
-    _out: RollReport | RollRead | None = None
+    _out: ReportGateway | ReadDesiredState | None = None
     _under_way: bool = False
     _asked: float = 0.0
     _read: float = -FRESH_MS  # when the reading that `record` is of was asked for
@@ -830,9 +858,9 @@
     _count: int = 0
 
     @property
-    def stand(self) -> Stand | None:
+    def stand(self) -> GatewayPhase | None:
         """Where this gateway stands in a roll; none where it is in none."""
-        return Stand[self.record["stand"]] if self.record.get("roll") else None
+        return GatewayPhase[self.record["stand"]] if self.record.get("roll") else None
 
     @property
     def mine(self) -> bool:
@@ -862,18 +890,18 @@
             "back": True,
         }
 
-    def duties(self, now: float) -> list[Duty]:
+    def duties(self, now: float) -> list[DesiredState]:
         """What has to be done now, each told once."""
         drained = self.mine and self.stand in DRAINED
-        found: list[Duty] = []
+        found: list[DesiredState] = []
         if drained and now - self._read > FRESH_MS:
             return found
         if drained is not self.paused and not self.left:
             self.paused = drained
-            found.append(Duty.PAUSE if drained else Duty.RESUME)
+            found.append(DesiredState.PAUSE if drained else DesiredState.RESUME)
         if drained and self.stand is G.ACTING and not self.left:
             self.left = True
-            found.append(Duty.LEAVE)
+            found.append(DesiredState.LEAVE)
         return found
 
     def _report(self) -> str:
@@ -907,7 +935,7 @@
             self._count += 1
             id_, what = f"rolled/{self.process}/{self._count}", self._report()
             self._out = (
-                RollReport(
+                ReportGateway(
                     id=id_,
                     roll=self.record["roll"],
                     gateway=self.me,
@@ -916,18 +944,18 @@
                     process=self.process,
                 )
                 if what
-                else RollRead(id=id_, gateway=self.me)
+                else ReadDesiredState(id=id_, gateway=self.me)
             )
         self._under_way, self._asked = True, now
         return [self._out]
 
-    def answered(self, now: float, command: Command, result: Applied | FleetError) -> None:
+    def answered(self, now: float, command: Command, result: ApplyResult | ClusterError) -> None:
         """See fleet.node.Holder."""
         if self._out is None or command.id != self._out.id:
             return
         self._under_way = False
-        error = result if isinstance(result, FleetError) else result.error
-        if error is None and isinstance(result, Applied):
+        error = result if isinstance(result, ClusterError) else result.error
+        if error is None and isinstance(result, ApplyResult):
             before, self.record = self.record, result.value
             self._out, self._read = None, self._asked
             if self.moved is not None and before.get("stand") != self.record.get("stand"):
@@ -936,10 +964,12 @@
                 self.record["read_ms"], 0.0 if self.record["roll"] else PER_MEMBER_MS * self.members
             )
             return
-        if isinstance(self._out, RollRead) or isinstance(error, BadCall | NotThere | TakenId | WrongState):
+        if isinstance(self._out, ReadDesiredState) or isinstance(
+            error, InvalidCall | NotFound | DuplicateId | WrongState
+        ):
             # a reading may as well be a new one; what was refused is not said again as it was
             self._out = None
-            if isinstance(error, NotThere):
+            if isinstance(error, NotFound):
                 self.record = {}
         self._next = now + READ_MS
 
--- a/badgeryoke/cluster/state_machine/machine.py
+++ b/badgeryoke/cluster/state_machine/machine.py
@@ -15,12 +15,12 @@
 import msgspec
 
 from badgeryoke.cluster import connection_limits, key_value, unreported_usage
-from badgeryoke.cluster.errors import BadCall, TakenId
+from badgeryoke.cluster.errors import DuplicateId, InvalidCall
 from badgeryoke.cluster.invariants import Invariants, Rule
 from badgeryoke.cluster.placement import directory
 from badgeryoke.cluster.reservations import contract
 from badgeryoke.cluster.rolling_restart import restart
-from badgeryoke.cluster.state_machine.part import FLEET, Applied, Command, View
+from badgeryoke.cluster.state_machine.part import FLEET, ApplyResult, Command, LeaderView
 from badgeryoke.cluster.timings import Timings
 
 # of calls that are remembered with their answers; the oldest goes first, and then a repeat is new
@@ -31,7 +31,7 @@
 MOST_BODY = 256 * 1024
 
 
-class Registry:
+class CommandRegistry:
     """Which part takes which command, in the fleet's own group and in the others."""
 
     def __init__(self) -> None:
@@ -54,19 +54,21 @@
             self.part_of[command] = name
 
 
-REGISTRY = Registry()
-REGISTRY.add("promises", key_value.COMMANDS, lambda timings, rules: key_value.Promises(), False)
-REGISTRY.add("placing", directory.COMMANDS, directory.Placing, True)
-REGISTRY.add("contracts", contract.FLEET_COMMANDS, contract.Contracts, True)
-REGISTRY.add("rolls", restart.COMMANDS, lambda timings, rules: restart.Rolls(rules), True)
-REGISTRY.add("floors", contract.TENANT_COMMANDS, contract.Floors, False)
+REGISTRY = CommandRegistry()
+REGISTRY.add("promises", key_value.COMMANDS, lambda timings, rules: key_value.KeyValueStore(), False)
+REGISTRY.add("placing", directory.COMMANDS, directory.PlacementDirectory, True)
+REGISTRY.add("contracts", contract.FLEET_COMMANDS, contract.ContractRegistry, True)
+REGISTRY.add("rolls", restart.COMMANDS, lambda timings, rules: restart.RollingRestarts(rules), True)
+REGISTRY.add("floors", contract.TENANT_COMMANDS, contract.GuaranteedRates, False)
 REGISTRY.add(
     "connections",
     connection_limits.COMMANDS,
-    lambda timings, rules: connection_limits.Connections(rules, timings),
+    lambda timings, rules: connection_limits.ConnectionLimits(rules, timings),
     False,
 )
-REGISTRY.add("owed", unreported_usage.COMMANDS, lambda timings, rules: unreported_usage.Owed(), False)
+REGISTRY.add(
+    "owed", unreported_usage.COMMANDS, lambda timings, rules: unreported_usage.UnreportedUsage(), False
+)
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder: Any = None
@@ -87,20 +89,20 @@
     return made
 
 
-def command_from(name: str, fields: dict[str, Any]) -> Command | BadCall:
+def command_from(name: str, fields: dict[str, Any]) -> Command | InvalidCall:
     """A command from an operator's words, checked."""
     kind = REGISTRY.commands.get(name)
     if kind is None:
-        return BadCall(name[:64], f"unknown; known are {', '.join(sorted(REGISTRY.commands))}")
+        return InvalidCall(name[:64], f"unknown; known are {', '.join(sorted(REGISTRY.commands))}")
     try:
         made = msgspec.convert(fields, kind)
     except msgspec.ValidationError as fault:
-        return BadCall(name, str(fault).replace("`", ""))
+        return InvalidCall(name, str(fault).replace("`", ""))
     problem = made.fault()
-    return BadCall(name, problem) if problem else made
+    return InvalidCall(name, problem) if problem else made
 
 
-class GroupState:
+class GroupStateMachine:
     """One group's state, as a replica's machine."""
 
     def __init__(self, group: str, timings: Timings, rules: Invariants) -> None:
@@ -112,7 +114,7 @@
         self._ids: dict[str, tuple[int, bytes]] = {}  # of the command, and its answer
         self._answers = 0  # bytes of them
 
-    def apply(self, now: float, index: int, body: bytes) -> Applied:
+    def apply(self, now: float, index: int, body: bytes) -> ApplyResult:
         """One entry.  Never raises but for a broken invariant."""
         self._rules.check(
             Rule.APPLIED_ONCE, index > self.index, lambda: f"{self.group}: {index} after {self.index}"
@@ -121,19 +123,19 @@
         try:
             at_ms, command = decode(body)
         except msgspec.DecodeError as fault:
-            return Applied(error=BadCall(self.group, f"an entry that cannot be read: {fault}"))
+            return ApplyResult(error=InvalidCall(self.group, f"an entry that cannot be read: {fault}"))
         self.at_ms = max(self.at_ms, at_ms)
         crc = zlib.crc32(_encoder.encode(command))
         if command.once and (known := self._ids.get(command.id)) is not None:
             if known[0] != crc:
-                return Applied(error=TakenId(command.id, "another call has it"))
-            return msgspec.msgpack.decode(known[1], type=Applied)
+                return ApplyResult(error=DuplicateId(command.id, "another call has it"))
+            return msgspec.msgpack.decode(known[1], type=ApplyResult)
         part = self.parts.get(REGISTRY.part_of[type(command)])
         if part is None:
-            return Applied(
-                error=BadCall(command.id, f"{command.command_name()} is not for group {self.group}")
+            return ApplyResult(
+                error=InvalidCall(command.id, f"{command.command_name()} is not for group {self.group}")
             )
-        result: Applied = part.apply(self.at_ms, command)
+        result: ApplyResult = part.apply(self.at_ms, command)
         part.seen(now)
         if command.once and result.error is None:  # what was refused changed nothing, and may be asked again
             self._rules.check(Rule.ID_ONCE, command.id not in self._ids, lambda: command.id)
@@ -150,17 +152,17 @@
         while len(self._ids) > MOST_IDS or self._answers > MOST_ANSWERS:
             self._answers -= len(self._ids.pop(next(iter(self._ids)))[1])
 
-    def look(self, command: Command) -> Applied:
+    def look(self, command: Command) -> ApplyResult:
         """Answer a command that only reads."""
         part = self.parts.get(REGISTRY.part_of[type(command)])
         if part is None or not command.reads:
-            return Applied(
-                error=BadCall(command.id, f"{command.command_name()} is not for group {self.group}")
+            return ApplyResult(
+                error=InvalidCall(command.id, f"{command.command_name()} is not for group {self.group}")
             )
-        found: Applied = part.look(command)
+        found: ApplyResult = part.look(command)
         return found
 
-    def work(self, view: View) -> list[Command]:
+    def work(self, view: LeaderView) -> list[Command]:
         """What the leader has to propose now."""
         return [command for part in self.parts.values() for command in part.work(view)]
 
--- a/badgeryoke/cluster/state_machine/part.py
+++ b/badgeryoke/cluster/state_machine/part.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from badgeryoke.cluster.errors import AnyError
-from badgeryoke.cluster.messages import Id
+from badgeryoke.cluster.messages import MemberId
 from badgeryoke.cluster.timings import Timings
 
 FLEET = "fleet"  # the one group for the whole fleet: admission, who copies what, rolls
@@ -43,7 +43,7 @@
         return ""
 
 
-class Applied(msgspec.Struct, frozen=True):
+class ApplyResult(msgspec.Struct, frozen=True):
     """What a command came to: `value` (plain data) or an error."""
 
     value: Any = None
@@ -51,30 +51,30 @@
 
 
 @dataclass(frozen=True, slots=True)
-class View:
+class LeaderView:
     """What the leader's work may look at, beside the state.  `lead_since`: `now` when this one began to
     lead and had applied all before."""
 
     now: float  # monotonic here, ms
     wall: float  # Unix ms
-    me: Id
+    me: MemberId
     lead_since: float
     timings: Timings
-    alive: frozenset[Id]  # by membership, as an opinion
-    dead_for: dict[Id, float]  # ms since this member believes it dead
+    alive: frozenset[MemberId]  # by membership, as an opinion
+    dead_for: dict[MemberId, float]  # ms since this member believes it dead
     halls: dict[str, str]  # hall of each member's name
     load: dict[str, float]  # figures that the gateway knows: "capacity", "demand", ... (units a second)
-    groups: dict[str, tuple[Id, ...]]  # voters of each group, as the fleet's group has placed them
-    behind: dict[str, tuple[Id, ...]]  # learners of the groups led here that have not caught up yet
+    groups: dict[str, tuple[MemberId, ...]]  # voters of each group, as the fleet's group has placed them
+    behind: dict[str, tuple[MemberId, ...]]  # learners of the groups led here that have not caught up yet
 
 
-class Part(Protocol):
+class StateMachinePart(Protocol):
     """One part of a group's state."""
 
-    def apply(self, at_ms: float, command: Any) -> Applied:
+    def apply(self, at_ms: float, command: Any) -> ApplyResult:
         """Take a command in.  Never raises; a faulty one comes back as an error and changes nothing."""
 
-    def work(self, view: View) -> list[Command]:
+    def work(self, view: LeaderView) -> list[Command]:
         """Commands that the leader proposes now (for this group or, by their key, another); asked for every
         heartbeat, so each has an id that makes a repeat harmless."""
 
--- a/badgeryoke/cluster/unreported_usage.py
+++ b/badgeryoke/cluster/unreported_usage.py
@@ -16,9 +16,9 @@
 
 import msgspec
 
-from badgeryoke.cluster.errors import BadCall, Crowded, NotThere, WrongState
-from badgeryoke.cluster.messages import Id
-from badgeryoke.cluster.state_machine.part import Applied, Command, View
+from badgeryoke.cluster.errors import InvalidCall, NotFound, Overloaded, WrongState
+from badgeryoke.cluster.messages import MemberId
+from badgeryoke.cluster.state_machine.part import ApplyResult, Command, LeaderView
 
 MOST_BYTES = (
     24 * 1024 * 1024
@@ -30,7 +30,7 @@
 LATE_MS = 60_000.0  # the counter forgets a name after so long: a batch older than this is of no use
 
 
-class Line(msgspec.Struct, frozen=True, array_like=True):
+class UsageLine(msgspec.Struct, frozen=True, array_like=True):
     """One call at the counter: a name, an amount, the life of a new name in ms."""
 
     name: str
@@ -38,12 +38,12 @@
     expire_ms: float
 
 
-class Owe(Command, frozen=True, kw_only=True, tag="Owe"):
+class RecordUsage(Command, frozen=True, kw_only=True, tag="Owe"):
     """`by` owes these; `id` names the batch."""
 
     tenant: str  # by which group it is kept
-    by: Id
-    lines: tuple[Line, ...]
+    by: MemberId
+    lines: tuple[UsageLine, ...]
 
     def key(self) -> str:
         return f"t:{self.tenant}"
@@ -61,30 +61,30 @@
         )
 
 
-class Claim(Command, frozen=True, kw_only=True):
+class ClaimUsage(Command, frozen=True, kw_only=True, tag="Claim"):
     """`by` is going to report a batch; the answer holds its lines, once."""
 
     tenant: str
     batch: str
-    by: Id
+    by: MemberId
 
     def key(self) -> str:
         return f"t:{self.tenant}"
 
 
-class OwedTold(Command, frozen=True, kw_only=True, tag="OwedTold"):
+class ConfirmUsageReported(Command, frozen=True, kw_only=True, tag="OwedTold"):
     """The counter has a batch, or `known` is false: nobody knows, and it is not told again."""
 
     tenant: str
     batch: str
-    by: Id
+    by: MemberId
     known: bool
 
     def key(self) -> str:
         return f"t:{self.tenant}"
 
 
-class OwedRead(Command, frozen=True, kw_only=True, tag="OwedRead"):
+class ReadUnreportedUsage(Command, frozen=True, kw_only=True, tag="OwedRead"):
     """Batches that nobody has claimed, oldest first."""
 
     reads: ClassVar[bool] = True
@@ -94,57 +94,58 @@
         return f"t:{self.tenant}"
 
 
-COMMANDS: tuple[type[Command], ...] = (Owe, Claim, OwedTold, OwedRead)
+COMMANDS: tuple[type[Command], ...] = (RecordUsage, ClaimUsage, ConfirmUsageReported, ReadUnreportedUsage)
 
 
-def _bytes(tenant: str, lines: tuple[Line, ...]) -> int:
+def _bytes(tenant: str, lines: tuple[UsageLine, ...]) -> int:
     """What a batch counts for; 512: its name and gateways."""
     return max(512 + len(tenant.encode()) + sum(len(line.name.encode()) + 24 for line in lines), LEAST_BYTES)
 
 
-class Owed:
+class UnreportedUsage:
     """The part of a group's state that holds the batches."""
 
     def __init__(self) -> None:
         self._batches: dict[
-            str, tuple[float, str, Id, tuple[Line, ...], Id]
+            str, tuple[float, str, MemberId, tuple[UsageLine, ...], MemberId]
         ] = {}  # since, tenant, by, lines, claimer
         self._held = 0  # bytes
         self.unknown = 0.0  # units of which nobody knows whether the counter has them
 
-    def apply(self, at_ms: float, command: Command) -> Applied:
+    def apply(self, at_ms: float, command: Command) -> ApplyResult:
         """Take a batch in, give one out, or close one."""
         for name, batch in list(self._batches.items()):
             if at_ms - batch[0] <= LATE_MS:
                 break  # they lie in the order of their coming
             self._close(name, False)
         match command:
-            case Owe():
+            case RecordUsage():
                 if command.id in self._batches:
-                    return Applied(True)  # its answer was forgotten, the batch was not: a claim of it goes on
+                    # its answer was forgotten, the batch was not: a claim of it goes on
+                    return ApplyResult(True)
                 more = _bytes(command.tenant, command.lines)
                 if self._held + more > MOST_BYTES:
-                    return Applied(
-                        error=Crowded(command.id, f"{MOST_BYTES} bytes of batches wait at the most")
+                    return ApplyResult(
+                        error=Overloaded(command.id, f"{MOST_BYTES} bytes of batches wait at the most")
                     )
                 self._held += more
                 self._batches[command.id] = at_ms, command.tenant, command.by, command.lines, ""
-                return Applied(True)
-            case Claim():
+                return ApplyResult(True)
+            case ClaimUsage():
                 found = self._batches.get(command.batch)
                 if found is None:
-                    return Applied(error=NotThere(command.batch, "no such batch waits"))
+                    return ApplyResult(error=NotFound(command.batch, "no such batch waits"))
                 if found[4]:
-                    return Applied(error=WrongState(command.batch, f"{found[4]} reports it"))
+                    return ApplyResult(error=WrongState(command.batch, f"{found[4]} reports it"))
                 self._batches[command.batch] = (*found[:4], command.by)
-                return Applied([[line.name, line.units, line.expire_ms] for line in found[3]])
-            case OwedTold():
+                return ApplyResult([[line.name, line.units, line.expire_ms] for line in found[3]])
+            case ConfirmUsageReported():
                 found = self._batches.get(command.batch)
                 if found is None or found[4] != command.by:
-                    return Applied(error=NotThere(command.batch, f"{command.by} does not report it"))
+                    return ApplyResult(error=NotFound(command.batch, f"{command.by} does not report it"))
                 self._close(command.batch, command.known)
-                return Applied(True)
-        return Applied(error=BadCall(command.id, "not a call for what is owed"))
+                return ApplyResult(True)
+        return ApplyResult(error=InvalidCall(command.id, "not a call for what is owed"))
 
     def _close(self, name: str, known: bool) -> None:
         batch = self._batches.pop(name)
@@ -152,16 +153,18 @@
         if not known:
             self.unknown += sum(line.units for line in batch[3])
 
-    def look(self, command: OwedRead) -> Applied:
+    def look(self, command: ReadUnreportedUsage) -> ApplyResult:
         """Read what waits."""
-        return Applied(
+        return ApplyResult(
             [name for name, batch in self._batches.items() if not batch[4] and batch[1] == command.tenant]
         )
 
-    def work(self, view: View) -> list[Command]:
+    def work(self, view: LeaderView) -> list[Command]:
         """A claimer that is dead for good: its batch is closed as unknown."""
         return [
-            OwedTold(id=f"owed/{name}/lost", tenant=batch[1], batch=name, by=batch[4], known=False)
+            ConfirmUsageReported(
+                id=f"owed/{name}/lost", tenant=batch[1], batch=name, by=batch[4], known=False
+            )
             for name, batch in self._batches.items()
             if batch[4] and view.dead_for.get(batch[4], 0.0) >= view.timings.repair_after_ms
         ]
@@ -190,7 +193,7 @@
         """From `dump`."""
         self.unknown, batches = raw
         self._batches = {
-            name: (since, tenant, by, tuple(Line(*line) for line in lines), claimer)
+            name: (since, tenant, by, tuple(UsageLine(*line) for line in lines), claimer)
             for name, since, tenant, by, lines, claimer in batches
         }
         self._held = sum(_bytes(tenant, lines) for _, tenant, _, lines, _ in self._batches.values())
--- a/badgeryoke/decisions/__init__.py
+++ b/badgeryoke/decisions/__init__.py
@@ -1,5 +1,5 @@
 """The decisions of a gateway that keeps each customer of a shared back end to its plan."""
 
-from badgeryoke.decisions.policy.engine import Gateway
+from badgeryoke.decisions.policy.engine import DecisionEngine
 
-__all__ = ["Gateway"]
+__all__ = ["DecisionEngine"]
--- a/badgeryoke/decisions/counter_health/ceiling_guard.py
+++ b/badgeryoke/decisions/counter_health/ceiling_guard.py
@@ -18,7 +18,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from badgeryoke.decisions.policy.engine import Ledger
+    from badgeryoke.decisions.policy.engine import CustomerQuota
 
 KEPT_MS = 6000.0  # own sends are remembered for this long: longer than the slowest noticing
 STEP_MS = 25.0  # sends within one are kept as one, at the time of its last: KEPT_MS / STEP_MS + 1 at most
@@ -43,7 +43,7 @@
         sent = self._sent.get(customer, ())
         return self._held_of.get(customer, 0.0) + sum(units for at, units in sent if at >= moment)
 
-    def wait(self, now: float, led: Ledger, units: float) -> float:
+    def wait(self, now: float, led: CustomerQuota, units: float) -> float:
         """How long a try must wait for the bound, ms; 0 where it may go to the module."""
         plan, spread = led.plan, led.spread
         if led.quota.half is not None:  # the part of the quota is the narrower bound
--- a/badgeryoke/decisions/counter_health/detector.py
+++ b/badgeryoke/decisions/counter_health/detector.py
@@ -20,7 +20,7 @@
 from enum import Enum
 
 from badgeryoke.decisions.counter_health import presence_register
-from badgeryoke.decisions.counter_health.visibility import Sight
+from badgeryoke.decisions.counter_health.visibility import Visibility
 
 REACH = 3  # a customer's set spans no more than four gateways (the platform's brief)
 MOST_UNSEEN_MS = 10_000.0  # of time out of sight is paid back
@@ -46,7 +46,7 @@
 MOST = presence_register.MOST_GENERATION
 
 
-class Belief(Enum):
+class CounterState(Enum):
     """What the counter is held to be."""
 
     UNKNOWN = "unknown"
@@ -60,7 +60,7 @@
     HEALED = "healed"
 
 
-class Sign(Enum):
+class Symptom(Enum):
     """What the last answers show, the gravest first."""
 
     MUTE = "no answers"
@@ -73,7 +73,7 @@
     CLEAR = "all in sight, in time"
 
 
-_B, _S = Belief, Sign
+_B, _S = CounterState, Symptom
 _TROUBLE = {
     _S.MUTE: _B.DEAD,
     _S.FORGOT: _B.SWAPPED,
@@ -82,7 +82,7 @@
     _S.DESERTED: _B.ABSENT,
     _S.STILL_HIDDEN: _B.SPLIT,
 }
-TRANSITIONS: dict[Belief, dict[Sign, Belief]] = {
+TRANSITIONS: dict[CounterState, dict[Symptom, CounterState]] = {
     _B.UNKNOWN: {**_TROUBLE, _S.LATE: _B.SLOW, _S.CLEAR: _B.SOUND},
     _B.SOUND: {**_TROUBLE, _S.LATE: _B.SLOW, _S.CLEAR: _B.SOUND},
     _B.SLOW: {**_TROUBLE, _S.LATE: _B.SLOW, _S.CLEAR: _B.SOUND},
@@ -96,7 +96,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Call:
+class RegisterCall:
     """One call to the counter: add so many units to a name that lives so long, and tell the total."""
 
     name: int
@@ -110,24 +110,24 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Change:
+class CounterStateChange:
     """A change of the belief, for the log and the laboratory."""
 
     at_ms: float
-    old: Belief
-    new: Belief
-    sign: Sign
+    old: CounterState
+    new: CounterState
+    sign: Symptom
     hidden: tuple[int, ...]
 
 
-class Watch:
+class CounterHealthDetector:
     """One gateway's watch over the counter; `sight` is what it grants by."""
 
     def __init__(self, me: int, gateways: int, timeout_ms: float) -> None:
         self.me, self.gateways, self.timeout_ms = me, gateways, max(timeout_ms, 1.0)
-        self.sight = Sight(me, gateways)
-        self.belief = Belief.UNKNOWN
-        self.changes: list[Change] = []  # not yet fetched by take_changes
+        self.sight = Visibility(me, gateways)
+        self.belief = CounterState.UNKNOWN
+        self.changes: list[CounterStateChange] = []  # not yet fetched by take_changes
         self.watched = presence_register.neighbours(me, gateways, min(REACH, gateways - 1))
         self.group = me // presence_register.GROUP
         others = sorted({number // presence_register.GROUP for number in self.watched} - {self.group})
@@ -190,7 +190,7 @@
             at += presence_register.BEAT_MS
         return at if step <= presence_register.BEAT_MS else at + step - presence_register.BEAT_MS
 
-    def beat(self, now: float) -> list[Call]:
+    def beat(self, now: float) -> list[RegisterCall]:
         """The calls that are due now: the beat, and at most one beside it."""
         if math.isnan(self.started):
             self.started = self.sight.started = self._changed = self._last_good = now
@@ -221,7 +221,7 @@
             units = presence_register.place(self.me) if self._own < presence_register.TOP else 0.0
             told = self._to_publish()
             calls.append(
-                Call(
+                RegisterCall(
                     presence_register.name_of(presence_register.Kind.ROLL, group, era),
                     units + told * presence_register.GENERATION,
                     presence_register.LIFE_MS,
@@ -234,7 +234,7 @@
             )
         else:
             calls.append(
-                Call(
+                RegisterCall(
                     presence_register.name_of(presence_register.Kind.ROLL, group, era),
                     0.0,
                     presence_register.LIFE_MS,
@@ -250,7 +250,7 @@
         self._out = len(calls)
         return calls
 
-    def _extra(self, now: float, era: int) -> Call | None:
+    def _extra(self, now: float, era: int) -> RegisterCall | None:
         """The call beside the beat: a muster to be told or read, or the last era to be closed."""
         muster = int(now // presence_register.MUSTER_MS)
         fresh = now - self.started < 2 * presence_register.BEAT_MS
@@ -266,7 +266,7 @@
             return self._muster_call(muster - 1, 0.0)
         if not self._closed and self._own_era == era:
             self._closed = True
-            return Call(
+            return RegisterCall(
                 presence_register.name_of(presence_register.Kind.ROLL, self.group, era - 1),
                 0.0,
                 presence_register.LIFE_MS,
@@ -277,8 +277,8 @@
             )
         return None
 
-    def _muster_call(self, muster: int, units: float) -> Call:
-        return Call(
+    def _muster_call(self, muster: int, units: float) -> RegisterCall:
+        return RegisterCall(
             presence_register.name_of(presence_register.Kind.MUSTER, self.group, muster),
             units,
             presence_register.LIFE_MS,
@@ -305,7 +305,7 @@
     def answer(
         self,
         now: float,
-        call: Call,
+        call: RegisterCall,
         good: bool,
         rtt_ms: float,
         total: float,
@@ -335,7 +335,7 @@
             self._read_roll(now, call, read)
         self.judge(now)
 
-    def _read_roll(self, now: float, call: Call, read: tuple[int, ...]) -> None:
+    def _read_roll(self, now: float, call: RegisterCall, read: tuple[int, ...]) -> None:
         if call.era == int(now // presence_register.ERA_MS):
             self._readings += 1
             self._read_at[call.group] = now
@@ -456,15 +456,15 @@
         new = TRANSITIONS[self.belief][sign]
         if new is self.belief:
             return
-        if self.belief is not Belief.UNKNOWN and now - self._changed < HOLD_MS:
+        if self.belief is not CounterState.UNKNOWN and now - self._changed < HOLD_MS:
             return
-        if self.belief is Belief.SWAPPED and sign is Sign.FORGOT:
+        if self.belief is CounterState.SWAPPED and sign is Symptom.FORGOT:
             return
-        self.changes.append(Change(now, self.belief, new, sign, gone))
+        self.changes.append(CounterStateChange(now, self.belief, new, sign, gone))
         del self.changes[:-64]
         self.belief, self._changed = new, now
 
-    def _sign(self, now: float, mute: bool, gone: tuple[int, ...]) -> Sign:
+    def _sign(self, now: float, mute: bool, gone: tuple[int, ...]) -> Symptom:
         for number in list(self._hidden_since):
             if number not in gone:
                 del self._hidden_since[number]
@@ -474,24 +474,24 @@
         for number in gone:
             self._hidden_since.setdefault(number, now)
         if mute and (self._refused >= MUTE_CALLS or now - self._last_good >= STUCK_MS):
-            return Sign.MUTE
+            return Symptom.MUTE
         if now - self._forgot_at < presence_register.BEAT_MS:
-            return Sign.FORGOT
+            return Symptom.FORGOT
         if gone:
             known = [number for number in self.watched if self._known.get(number)]
             if len(gone) == len(known) and len(gone) > 1:
-                return Sign.ALONE
+                return Symptom.ALONE
             if now - min(self._hidden_since.values()) < DECIDE_MS:
-                return Sign.HIDDEN
+                return Symptom.HIDDEN
             came = self._came(len(gone), len(known))
             return (
-                Sign.DESERTED
+                Symptom.DESERTED
                 if came > CAME_PART
-                else Sign.STILL_HIDDEN
+                else Symptom.STILL_HIDDEN
                 if came < STAYED_PART
-                else Sign.HIDDEN
+                else Symptom.HIDDEN
             )
-        return Sign.LATE if self._slow else Sign.CLEAR
+        return Symptom.LATE if self._slow else Symptom.CLEAR
 
     def _came(self, gone: int, known: int) -> float:
         """How much of the growth in tries has come that the silent gateways' clients would make; between the
@@ -506,7 +506,7 @@
     def _look_at(self, now: float, mute: bool, doubted: frozenset[int]) -> None:
         """Change the sight: at once to less, and back to more only some time after the last change."""
         sight = self.sight
-        absent = doubted if self.belief is Belief.ABSENT else frozenset()
+        absent = doubted if self.belief is CounterState.ABSENT else frozenset()
         if (mute, doubted, absent) == (sight.deaf, sight.hidden, sight.absent):
             return
         less = (mute and not sight.deaf) or bool(doubted - sight.hidden)
@@ -534,7 +534,7 @@
                 )
         return since
 
-    def take_changes(self) -> list[Change]:
+    def take_changes(self) -> list[CounterStateChange]:
         """The changes of the belief since the last call."""
         changes, self.changes = self.changes, []
         return changes
--- a/badgeryoke/decisions/counter_health/monitored_policy.py
+++ b/badgeryoke/decisions/counter_health/monitored_policy.py
@@ -8,53 +8,60 @@
 from __future__ import annotations
 
 from badgeryoke.decisions.counter_health.ceiling_guard import CeilingGuard
-from badgeryoke.decisions.counter_health.detector import Belief, Call, Change, Watch
+from badgeryoke.decisions.counter_health.detector import (
+    CounterHealthDetector,
+    CounterState,
+    CounterStateChange,
+    RegisterCall,
+)
 from badgeryoke.decisions.interface import (
     Action,
-    Count,
-    Due,
+    AddToCounter,
+    AttemptOutcome,
+    ClientDisconnected,
+    CounterReply,
     Event,
     Fail,
-    Left,
-    Outcome,
     Plan,
-    Refuse,
+    Reject,
     Request,
-    Send,
+    SendAttempt,
+    SetTimer,
     Settings,
-    Total,
+    TimerFired,
     Verdict,
-    Wake,
 )
-from badgeryoke.decisions.policy.engine import Gateway
+from badgeryoke.decisions.policy.engine import DecisionEngine
 
 OWN_TOKENS = 1 << 62  # wakes of the watch; the module counts from 1
 
 
-class Guarded:
+class MonitoredEngine:
     """A gateway's decisions, and its watch."""
 
-    def __init__(self, settings: Settings, seed: int, make: type[Gateway] = Gateway) -> None:
+    def __init__(self, settings: Settings, seed: int, make: type[DecisionEngine] = DecisionEngine) -> None:
         if not settings.has_counter:
             raise ValueError("setting family_info.has_counter: a watch needs a counter")
         self.module = make(settings, seed)
-        self.watch = Watch(settings.me, settings.gateways, settings.counter_timeout_ms)
+        self.watch = CounterHealthDetector(
+            settings.gateway_index, settings.gateway_count, settings.counter_timeout_ms
+        )
         self.quota = self.module._quota
         self.quota.sight = self.watch.sight
         self._plans: dict[str, Plan] = {plan.name: plan for plan in settings.plans}
         self._guard = CeilingGuard(self.watch.common_since)
         self.watch.sight.spent = self._spent
-        self._calls: dict[int, Call] = {}
+        self._calls: dict[int, RegisterCall] = {}
         self._begun = False
         self._now = 0.0
         self.calls_made = 0
 
     @property
-    def belief(self) -> Belief:
+    def belief(self) -> CounterState:
         """What the counter is held to be."""
         return self.watch.belief
 
-    def take_changes(self) -> list[Change]:
+    def take_changes(self) -> list[CounterStateChange]:
         """The changes of the belief since the last call."""
         return self.watch.take_changes()
 
@@ -79,14 +86,14 @@
             self._begun = True
             before = self._beat(now)
         match event:
-            case Due(token=token) if token >= OWN_TOKENS:
+            case TimerFired(token=token) if token >= OWN_TOKENS:
                 return before + self._beat(now)
-            case Total(name=name) if name in self._calls:
+            case CounterReply(name=name) if name in self._calls:
                 self._answered(now, event)
                 return before
-            case Total():
+            case CounterReply():
                 led = self.quota._calls.get(event.name)
-                if led is not None and not self.watch.sight.deaf and event.verdict is not Verdict.FULL:
+                if led is not None and not self.watch.sight.deaf and event.verdict is not Verdict.QUEUE_FULL:
                     self.watch.sight.told(now, led, event.verdict is Verdict.OK)
                 self.watch.witness(
                     now, event.verdict is Verdict.OK, event.rtt_ms, event.verdict is Verdict.CONNECT_FAILED
@@ -97,20 +104,20 @@
                 if plan is not None and plan.ceiling_rate > 0 and plan.rate > 0:
                     wait = self._guard.wait(now, self.quota.ledger(now, event), event.units)
                     if wait > 0:
-                        return [*before, Refuse(event.id, max(wait, 1.0))]
+                        return [*before, Reject(event.id, max(wait, 1.0))]
                     self._guard.hold(event.id, event.customer, event.units)
             case _:
                 pass
         actions = self.module.handle(now, event)
         for action in actions:
             match action:
-                case Send(id=rid):
+                case SendAttempt(id=rid):
                     self._guard.release(now, rid, True)
-                case Refuse(id=rid) | Fail(id=rid):
+                case Reject(id=rid) | Fail(id=rid):
                     self._guard.release(now, rid, False)
                 case _:
                     pass
-        if isinstance(event, Left) or (isinstance(event, Outcome) and event.ended):
+        if isinstance(event, ClientDisconnected) or (isinstance(event, AttemptOutcome) and event.ended):
             self._guard.release(now, event.id, False)
         return before + actions
 
@@ -119,11 +126,11 @@
         for call in self.watch.beat(now):
             self._calls[call.name] = call
             self.calls_made += 1
-            actions.append(Count(call.name, call.units, call.life_ms))
-        actions.append(Wake(self.watch.next_beat(now), OWN_TOKENS))
+            actions.append(AddToCounter(call.name, call.units, call.life_ms))
+        actions.append(SetTimer(self.watch.next_beat(now), OWN_TOKENS))
         return actions
 
-    def _answered(self, now: float, event: Total) -> None:
+    def _answered(self, now: float, event: CounterReply) -> None:
         call = self._calls.pop(event.name)
         self.watch.answer(
             now,
@@ -131,6 +138,6 @@
             event.verdict is Verdict.OK,
             event.rtt_ms,
             event.total,
-            event.verdict is Verdict.FULL,
+            event.verdict is Verdict.QUEUE_FULL,
             event.verdict is Verdict.CONNECT_FAILED,
         )
--- a/badgeryoke/decisions/counter_health/visibility.py
+++ b/badgeryoke/decisions/counter_health/visibility.py
@@ -18,7 +18,7 @@
 from collections.abc import Callable
 from copy import copy
 
-from badgeryoke.decisions.quota_protocols import Ledger, M
+from badgeryoke.decisions.quota_protocols import CustomerQuota, M
 
 PROBE_MS = 1000.0  # between two calls for a customer whose part of the counter is gone
 LOST_MS, LOST_CALLS = 400.0, 2  # a customer's calls fail for so long, and so many: its name's part is gone
@@ -27,7 +27,7 @@
 BLANK_MS = 20_000.0  # a gateway this young may have had the customer before: in a loss it grants no new burst
 
 
-class Sight:
+class Visibility:
     """The part of the quotas that this gateway goes by; `version` moves with every change of it."""
 
     def __init__(self, me: int, gateways: int) -> None:
@@ -81,7 +81,7 @@
             return min(seen * room, 1.0)
         return seen
 
-    def apply(self, now: float, led: Ledger[M]) -> None:
+    def apply(self, now: float, led: CustomerQuota[M]) -> None:
         """Bring a customer's meters in line with this version."""
         plan, quota, old = led.plan, led.quota, led.quota.half
         if plan.rate <= 0:
@@ -116,11 +116,11 @@
         half.set(plan.rate * part, plan.burst * part)
         quota.half = half
 
-    def alone(self, led: Ledger[M]) -> bool:
+    def alone(self, led: CustomerQuota[M]) -> bool:
         """Whether nothing is heard of this customer's use elsewhere."""
         return self.deaf or led.customer in self._lost
 
-    def hushed(self, now: float, led: Ledger[M]) -> bool:
+    def hushed(self, now: float, led: CustomerQuota[M]) -> bool:
         """Whether no call is made for a customer: none would be answered.
 
         One goes now and then where only its part of the counter is gone, to see it come back; for the whole
@@ -135,7 +135,7 @@
             self._unheard[led.customer] = LOST_CALLS, now
         return not due
 
-    def told(self, now: float, led: Ledger[M], good: bool) -> None:
+    def told(self, now: float, led: CustomerQuota[M], good: bool) -> None:
         """A customer's call has its answer.  Where all fail for a while though others are answered, the
         part of the counter that has the customer's name is gone."""
         customer = led.customer
@@ -155,7 +155,7 @@
             del self._unheard[gone]
             self._lost.discard(gone)
 
-    def heard(self, led: Ledger[M], others: float) -> float:
+    def heard(self, led: CustomerQuota[M], others: float) -> float:
         """What to charge of the others' units in a total: nothing in the first after a rejoin."""
         if led.customer in self._rejoined:
             self._rejoined.discard(led.customer)
--- a/badgeryoke/decisions/interface.py
+++ b/badgeryoke/decisions/interface.py
@@ -11,15 +11,15 @@
 from enum import Enum
 
 
-class Effect(Enum):
+class Idempotency(Enum):
     """What a repeat of a request may do."""
 
-    SAFE = "safe"
-    KEYED = "keyed"
-    UNSAFE = "unsafe"
+    IDEMPOTENT = "safe"
+    WITH_KEY = "keyed"
+    NOT_IDEMPOTENT = "unsafe"
 
 
-class Group(Enum):
+class DeduplicationScope(Enum):
     """Which servers drop a repeat of a keyed request."""
 
     ALL = "all"
@@ -32,20 +32,20 @@
 
     OK = "ok"
     ERROR = "error"
-    FULL = "full"
+    QUEUE_FULL = "full"
     TIMEOUT = "timeout"
     CONNECT_FAILED = "connect failed"
     RESET = "reset"
     CANCELLED = "cancelled"
-    MOOT = "moot"
+    NOT_SENT = "moot"
 
     @property
     def never_ran(self) -> bool:
         """True where the outcome proves that the attempt had no effect."""
-        return self in (Verdict.FULL, Verdict.CONNECT_FAILED, Verdict.MOOT)
+        return self in (Verdict.QUEUE_FULL, Verdict.CONNECT_FAILED, Verdict.NOT_SENT)
 
 
-class State(Enum):
+class EndpointState(Enum):
     """What discovery says of a server."""
 
     UP = "up"
@@ -53,12 +53,12 @@
     GONE = "gone"
 
 
-class Scope(Enum):
+class ListScope(Enum):
     """What a member list covers."""
 
     CHANGES = "changes"
     FULL = "full"
-    WARM_COPY = "warm copy"
+    CACHED = "warm copy"
     LOST = "lost"
 
 
@@ -72,16 +72,22 @@
     """A class of requests: when an answer counts, and what a repeat may do."""
 
     name: str
-    aim_ms: float
+    latency_objective_ms: float
     deadline_ms: float
-    effect: Effect
-    group: Group = Group.ALL
-    window_ms: float = 0.0
-    worth: float = 1.0
-    late_share: float = 0.0
+    idempotency: Idempotency
+    deduplication_scope: DeduplicationScope = DeduplicationScope.ALL
+    deduplication_window_ms: float = 0.0
+    priority_weight: float = 1.0
+    late_value_fraction: float = 0.0
 
     def __post_init__(self) -> None:
-        for key in ("aim_ms", "deadline_ms", "window_ms", "worth", "late_share"):
+        for key in (
+            "latency_objective_ms",
+            "deadline_ms",
+            "deduplication_window_ms",
+            "priority_weight",
+            "late_value_fraction",
+        ):
             _at_least(f"classes.{self.name}.{key}", getattr(self, key), 0.0)
 
 
@@ -92,10 +98,10 @@
     name: str
     rate: float = 0.0
     burst: float = 0.0
-    open_limit: int = 0
+    concurrency_limit: int = 0
     price: float = 1.0
-    over_worth: float = 0.0
-    over_cost: float = 0.0
+    over_quota_value: float = 0.0
+    over_quota_cost: float = 0.0
     ceiling_rate: float = 0.0
     ceiling_burst: float = 0.0
     ceiling_slack: float = 0.0
@@ -104,10 +110,10 @@
         for key in (
             "rate",
             "burst",
-            "open_limit",
+            "concurrency_limit",
             "price",
-            "over_worth",
-            "over_cost",
+            "over_quota_value",
+            "over_quota_cost",
             "ceiling_rate",
             "ceiling_burst",
             "ceiling_slack",
@@ -121,41 +127,41 @@
 class Settings:
     """What a gateway is told at its start; see the protocol page for the meaning of each figure."""
 
-    me: int
-    gateways: int
+    gateway_index: int
+    gateway_count: int
     zone: str
     tick_ms: float
     classes: tuple[RequestClass, ...]
     plans: tuple[Plan, ...]
     has_counter: bool = False
     counter_timeout_ms: float = 0.0
-    max_units: float = 1.0
+    max_request_units: float = 1.0
     max_attempts: int = 1
     can_cancel: bool = False
     max_retry_after_ms: float = 0.0
     must_subscribe: bool = False
-    ask_within_ms: float = 0.0
-    answer_slack_ms: float = 0.0
-    cold_from: float = 1.0
-    warm_within_ms: float = 0.0
-    fall_multiple: float = 1.0
-    fall_window_ms: float = 0.0
+    poll_within_ms: float = 0.0
+    response_slack_ms: float = 0.0
+    slow_start_fraction: float = 1.0
+    slow_start_ms: float = 0.0
+    overload_multiple: float = 1.0
+    overload_window_ms: float = 0.0
 
     def __post_init__(self) -> None:
-        _at_least("gateways", self.gateways, 1)
-        _at_least("me", self.me, 0)
+        _at_least("gateway_count", self.gateway_count, 1)
+        _at_least("gateway_index", self.gateway_index, 0)
         _at_least("max_attempts", self.max_attempts, 1)
         for key in (
             "tick_ms",
             "counter_timeout_ms",
-            "max_units",
+            "max_request_units",
             "max_retry_after_ms",
-            "ask_within_ms",
-            "answer_slack_ms",
-            "cold_from",
-            "warm_within_ms",
-            "fall_multiple",
-            "fall_window_ms",
+            "poll_within_ms",
+            "response_slack_ms",
+            "slow_start_fraction",
+            "slow_start_ms",
+            "overload_multiple",
+            "overload_window_ms",
         ):
             _at_least(key, getattr(self, key), 0.0)
 
@@ -168,7 +174,7 @@
     zone: str
     kind: str
     cell: int
-    state: State
+    state: EndpointState
     size: float = 1.0
     started_ms: float = 0.0
 
@@ -177,10 +183,10 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Members:
+class EndpointList:
     """A member list, whole or as changes to the last one."""
 
-    scope: Scope
+    scope: ListScope
     servers: tuple[Server, ...] = ()
 
 
@@ -189,27 +195,27 @@
     """A client's try has arrived; it is owed exactly one final answer."""
 
     id: str
-    cls: str
+    request_class: str
     plan: str
     customer: int
     remaining_ms: float
     units: float
-    spread: int
-    first: int = 0
+    gateway_set_size: int
+    first_gateway: int = 0
     retry: bool = False
     # drawn under a lease: the class of importance of its contract, from 1, which goes last; 0: not
-    reserved: int = 0
+    reservation_rank: int = 0
 
 
 @dataclass(frozen=True, slots=True)
-class Started:
+class ResponseStarted:
     """The answer of a streamed class has begun; the attempt is the client's now."""
 
     id: str
 
 
 @dataclass(frozen=True, slots=True)
-class Outcome:
+class AttemptOutcome:
     """How one attempt ended; ended says that the request has its final answer."""
 
     id: str
@@ -223,14 +229,14 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Left:
+class ClientDisconnected:
     """The client has gone; nothing more is owed."""
 
     id: str
 
 
 @dataclass(frozen=True, slots=True)
-class Total:
+class CounterReply:
     """The counter's answer to one Count."""
 
     name: int
@@ -240,7 +246,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Probed:
+class HealthCheckResult:
     """The answer to one Probe."""
 
     server: int
@@ -250,19 +256,28 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Due:
+class TimerFired:
     """A Wake has come due."""
 
     token: int
 
 
-Event = Members | Request | Started | Outcome | Left | Total | Probed | Due
+Event = (
+    EndpointList
+    | Request
+    | ResponseStarted
+    | AttemptOutcome
+    | ClientDisconnected
+    | CounterReply
+    | HealthCheckResult
+    | TimerFired
+)
 
 # Actions ----------------------------------------------------------------------------------------------
 
 
 @dataclass(frozen=True, slots=True)
-class Send:
+class SendAttempt:
     """Start an attempt of a request at a server; attempts are numbered 0, 1, 2 ... as sent."""
 
     id: str
@@ -271,7 +286,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Cancel:
+class CancelAttempt:
     """Stop waiting for an attempt."""
 
     id: str
@@ -279,7 +294,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Refuse:
+class Reject:
     """Final answer: turned away, and a retry does no harm."""
 
     id: str
@@ -295,7 +310,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Count:
+class AddToCounter:
     """Add units to a named number of the counter service and learn the total."""
 
     name: int
@@ -304,14 +319,14 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Probe:
+class CheckHealth:
     """Look at a server."""
 
     server: int
 
 
 @dataclass(frozen=True, slots=True)
-class Wake:
+class SetTimer:
     """Ask for a Due event at a time."""
 
     at_ms: float
@@ -330,6 +345,6 @@
     text: str
 
 
-Where = Callable[[Server], bool] | None  # which servers may be used; None: all
-Action = Send | Cancel | Refuse | Fail | Count | Probe | Wake | Subscribe | Log
+ServerFilter = Callable[[Server], bool] | None  # which servers may be used; None: all
+Action = SendAttempt | CancelAttempt | Reject | Fail | AddToCounter | CheckHealth | SetTimer | Subscribe | Log
 Actions = list[Action]
--- a/badgeryoke/decisions/plan_schedule/carry_over.py
+++ b/badgeryoke/decisions/plan_schedule/carry_over.py
@@ -20,7 +20,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Figures:
+class PlanFigures:
     """What a version of a plan grants: units a second and at once; 0 for no ceiling."""
 
     rate: float
@@ -30,41 +30,41 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Held:
+class BucketLevel:
     """A store: units in it, and the units of its depth that it has not been filled with since a rise."""
 
     room: float
     ungranted: float = 0.0
 
 
-def carry(store: Held, old_depth: float, new_depth: float, most_debt: float = math.inf) -> Held:
+def carry(store: BucketLevel, old_depth: float, new_depth: float, most_debt: float = math.inf) -> BucketLevel:
     """The store after a change of its depth; its debt is no more than `most_debt` units."""
     # It fills what was used first, and what a rise has added last.
     ungranted = min(store.ungranted, max(old_depth - store.room, 0.0))
     if new_depth >= old_depth:
-        return Held(max(store.room, -most_debt), ungranted + new_depth - old_depth)
+        return BucketLevel(max(store.room, -most_debt), ungranted + new_depth - old_depth)
     cut = old_depth - new_depth
     left = max(ungranted - cut, 0.0)
-    return Held(max(store.room - (cut - (ungranted - left)), -most_debt), left)
+    return BucketLevel(max(store.room - (cut - (ungranted - left)), -most_debt), left)
 
 
-def carry_quota(store: Held, old: Figures, new: Figures) -> Held:
+def carry_quota(store: BucketLevel, old: PlanFigures, new: PlanFigures) -> BucketLevel:
     """A quota's store after a change: its debt is paid within DEBT_MOST_MS."""
     return carry(store, old.burst, new.burst, new.rate * DEBT_MOST_MS / 1000.0)
 
 
-def carry_ceiling(store: Held, old: Figures, new: Figures) -> Held:
+def carry_ceiling(store: BucketLevel, old: PlanFigures, new: PlanFigures) -> BucketLevel:
     """A ceiling's store after a change; one that is new begins full."""
     if old.ceiling_burst <= 0:
-        return Held(new.ceiling_burst)
+        return BucketLevel(new.ceiling_burst)
     return carry(store, old.ceiling_burst, new.ceiling_burst)
 
 
-def room_of(now: float, tat: float, figures: Figures) -> float:
+def room_of(now: float, tat: float, figures: PlanFigures) -> float:
     """Units in the store of a quota's meter, from its theoretical arrival time, ms."""
     return figures.burst - max(tat - now, 0.0) * figures.rate / 1000.0
 
 
-def arrival_of(now: float, room: float, figures: Figures) -> float:
+def arrival_of(now: float, room: float, figures: PlanFigures) -> float:
     """The theoretical arrival time, ms, of a quota's meter whose store holds so many units."""
     return now + (figures.burst - room) * 1000.0 / figures.rate if figures.rate > 0 else now
--- a/badgeryoke/decisions/policy/engine.py
+++ b/badgeryoke/decisions/policy/engine.py
@@ -1,7 +1,4 @@
-"""Every decision of a gateway.  Its types are in badgeryoke/decisions/interface.py.
-
-Parts in order: quota (GCRA, counter, ceiling), servers (load, health, cold ramp), requests, and the Gateway.
-"""
+"""Every decision of a gateway.  Its types are in badgeryoke/decisions/interface.py."""
 
 from __future__ import annotations
 
@@ -10,12 +7,9 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING, Literal
 
-from badgeryoke.decisions.interface import (
-    Action, Cancel, Count, Due, Effect, Event, Fail, Group, Left, Members, Outcome, Plan, Refuse, Request,
-    RequestClass, Scope, Send, Server, Settings, Started, State, Subscribe, Total, Verdict, Wake, Where,
-)
+from badgeryoke.decisions import interface as api
 if TYPE_CHECKING:
-    from badgeryoke.decisions.counter_health.visibility import Sight
+    from badgeryoke.decisions.counter_health.visibility import Visibility
 
 SECOND_MS = 1000.0  # quotas are told per second, the clock runs in milliseconds
 # Quota
@@ -95,16 +89,13 @@
     return (x ^ (x >> 31)) & MASK
 
 
-# Quota ------------------------------------------------------------------------------------------------
-
-
-class Meter:
+class GcraBucket:
     """One GCRA: a theoretical arrival time against a rate and a burst, both per millisecond and in units."""
 
     __slots__ = ("half", "per_unit", "tat", "tolerance")
 
     def __init__(self, rate: float, burst: float, tat: float) -> None:
-        self.half: Meter | None = None  # the part that may be used while not all gateways are heard
+        self.half: GcraBucket | None = None  # the part that may be used while not all gateways are heard
         self.tat = tat
         self.set(rate, burst)
 
@@ -135,22 +126,23 @@
             self.half.take(units, since)
 
 
-class Ledger:
+class CustomerQuota:
     """What this gateway knows of one customer's use."""
 
-    def __init__(self, plan: Plan, request: Request, settings: Settings, now: float, started: float) -> None:
-        self.plan, self.customer, self.first = plan, request.customer, request.first
-        self.spread = spread = max(1, min(request.spread, settings.gateways))
-        self.quota = Meter(plan.rate, plan.burst, now)
+    def __init__(self, plan: api.Plan, request: api.Request, settings: api.Settings, now: float,
+                 started: float) -> None:
+        self.plan, self.customer, self.first = plan, request.customer, request.first_gateway
+        self.spread = spread = max(1, min(request.gateway_set_size, settings.gateway_count))
+        self.quota = GcraBucket(plan.rate, plan.burst, now)
         self.quota.tat = now + self.quota.tolerance * (1 - 1 / spread)
-        self.own = Meter(plan.rate, plan.burst, now)  # its rate is set to the own part before each use
+        self.own = GcraBucket(plan.rate, plan.burst, now)  # its rate is set to the own part before each use
         # The ceiling's part above the quota, less a reserve, is split evenly for sends the counter has not
         # confirmed.  It fills from the instance's start, since a restart refills nothing.  Where an even part
         # is less than one request, the first so many of the customer's gateways hold one each: else all
         # would pass, or nobody.
-        self.head: Meter | None = None
+        self.head: GcraBucket | None = None
         if plan.ceiling_rate > 0:
-            self.head = Meter(*self.headroom(settings), started)
+            self.head = GcraBucket(*self.headroom(settings), started)
             self.head.tat = started + self.head.tolerance
         self.period_ms = self.length()
         self.phase = name_of(self.customer, -1) / MASK  # customers' periods end at different times
@@ -176,12 +168,12 @@
         self.open = 0
         self.flushing = False  # a Wake is set to report what is owed
 
-    def headroom(self, settings: Settings) -> tuple[float, float]:
+    def headroom(self, settings: api.Settings) -> tuple[float, float]:
         """Rate and depth of this gateway's part of the ceiling's headroom."""
         plan = self.plan
         depth = HEAD_PART * max(plan.ceiling_burst + plan.ceiling_slack - plan.burst, 0.0)
-        holders = min(self.spread, int(depth / max(settings.max_units, 1.0)))
-        part = ((settings.me - self.first) % settings.gateways < holders) / max(holders, 1)
+        holders = min(self.spread, int(depth / max(settings.max_request_units, 1.0)))
+        part = ((settings.gateway_index - self.first) % settings.gateway_count < holders) / max(holders, 1)
         return HEAD_PART * max(plan.ceiling_rate - plan.rate, 0.0) * part, depth * part
 
     def length(self) -> float:
@@ -202,15 +194,15 @@
         return bool(busy) or idle <= STALE_TOLERANCES * max(self.quota.tolerance, self.period_ms)
 
 
-class Quota:
+class QuotaManager:
     """Keeps every customer's ledger and the calls to the counter."""
 
-    def __init__(self, settings: Settings, rng: random.Random) -> None:
+    def __init__(self, settings: api.Settings, rng: random.Random) -> None:
         self._settings, self._rng = settings, rng
-        self.sight: Sight | None = None  # what a watch over the counter believes; none: it is taken for sound
+        self.sight: Visibility | None = None  # None: the counter is taken to be healthy
         self._plans = {plan.name: plan for plan in settings.plans}
-        self._ledgers: dict[int, Ledger] = {}
-        self._calls: dict[int, Ledger] = {}
+        self._ledgers: dict[int, CustomerQuota] = {}
+        self._calls: dict[int, CustomerQuota] = {}
         self._chance = 1.0 if settings.has_counter else 0.0  # of a call, where its answer has the usual worth
         self._quickest = CALL_FLOOR * settings.counter_timeout_ms  # answer of the counter
         self._worth = 0.0  # EWMA of what an answer is worth
@@ -218,7 +210,7 @@
         self._swept = -math.inf
         self._started = math.nan
 
-    def ledger(self, now: float, request: Request) -> Ledger:
+    def ledger(self, now: float, request: api.Request) -> CustomerQuota:
         """The customer's ledger, new where it is not known; stale ones are dropped on the way."""
         if math.isnan(self._started):
             self._started = now
@@ -230,25 +222,27 @@
             plan = self._plans.get(request.plan)
             if plan is None:
                 raise ValueError(f"plan {request.plan!r} is not among the settings")
-            found = Ledger(plan, request, self._settings, now, self._started)
+            found = CustomerQuota(plan, request, self._settings, now, self._started)
             found.conform = self._conform[plan.name]
             self._ledgers[request.customer] = found
         found.used = now
         plan = self._plans.get(found.plan.name, found.plan)
         if plan is not found.plan and not found.asked:
             from badgeryoke.decisions.plan_schedule.plan_change import replan  # loaded where plans change
-            found.first, found.spread = request.first, max(1, min(request.spread, self._settings.gateways))
+            found.first = request.first_gateway
+            found.spread = max(1, min(request.gateway_set_size, self._settings.gateway_count))
             replan(now, found, plan, self._settings)
         if self.sight and found.version != self.sight.version:
             self.sight.apply(now, found)
         return found
 
     @staticmethod
-    def _pays(led: Ledger) -> bool:
+    def _pays(led: CustomerQuota) -> bool:
         """Whether a send without the counter's word earns about what it costs, as such tries go."""
-        return led.conform + (1 - led.conform) * (led.plan.over_worth - led.plan.over_cost) > PAYS_LEAST
+        beyond = led.plan.over_quota_value - led.plan.over_quota_cost
+        return led.conform + (1 - led.conform) * beyond > PAYS_LEAST
 
-    def unheard_wait(self, now: float, led: Ledger, units: float) -> float:
+    def unheard_wait(self, now: float, led: CustomerQuota, units: float) -> float:
         """The wait without the counter's word.  While it answers, a part of 1/sqrt of the set holds by chance
         in place of the own part: few that are within their quota come by one gateway more often."""
         if led.quota.half and self.sight and self.sight.alone(led):
@@ -261,23 +255,23 @@
         wait = max(wait, led.own.wait(now, units))
         return wait if self._pays(led) else max(wait, led.quota.per_unit)
 
-    def call_weight(self, now: float, led: Ledger, units: float) -> float:
+    def call_weight(self, now: float, led: CustomerQuota, units: float) -> float:
         """0 for no call: by chance, so that all gateways together stay below what the counter takes, with
         odds by what the answer is worth: a right send where it would else be refused, or a wrong one spared.
         Covers a counter that is crowded, slow or down; harms where calls are slow for another reason."""
         blind = self._pays(led) and (led.head is None or led.head.room(now) >= units)
         good = min(max(led.conform, 1 - SURE), SURE)
-        worth = units * led.plan.price * ((1 - good) * max(led.plan.over_cost, COST_LEAST) if blind else good)
+        cost = max(led.plan.over_quota_cost, COST_LEAST)
+        worth = units * led.plan.price * ((1 - good) * cost if blind else good)
         self._worth += PRIOR_GAIN * (worth - self._worth)
         odds = max(self._chance * worth / self._worth, CALL_LEAST) if self._worth else self._chance
         hushed = self.sight is not None and self.sight.hushed(now, led)
         if not self._settings.has_counter or self._rng.random() >= odds or hushed:
             return 0.0
-        # A try that is asked for stands for those that are not and are sent all the same: without their
-        # weight the totals are too low, and all conform.
+        # A sampled request stands for those sent without a call: without their weight totals are too low.
         return min(1 / min(odds, 1.0), WEIGHT_MOST) if blind else 1.0
 
-    def spare(self, now: float, led: Ledger, units: float) -> bool:
+    def spare(self, now: float, led: CustomerQuota, units: float) -> bool:
         """Whether the last reading leaves so much room that a call is better spent elsewhere, the more so the
         more the counter is crowded: the units are then gathered and told afterwards."""
         unseen = led.others * (now - led.seen) / SECOND_MS
@@ -286,13 +280,13 @@
         return (fresh and room > min(self._chance, 1.0) * led.plan.burst
                 and (led.head is None or led.head.room(now) >= units))
 
-    def judged(self, led: Ledger, good: bool) -> None:
+    def judged(self, led: CustomerQuota, good: bool) -> None:
         """Learn from a try that the counter told of whether such tries conform."""
         old = self._conform.get(led.plan.name, PRIOR)  # a plan that is gone from the settings is not kept
         self._conform[led.plan.name] = old + PRIOR_GAIN * (good - old)
         led.conform += CONFORM_GAIN * (good - led.conform)
 
-    def ask(self, now: float, led: Ledger, guessed: float = 0.0) -> list[Action]:
+    def ask(self, now: float, led: CustomerQuota, guessed: float = 0.0) -> list[api.Action]:
         """Report what is owed and what the waiting requests would use, and read the total back."""
         if led.asked or (not led.waiting and not led.owed):
             return []
@@ -300,8 +294,7 @@
         epoch = self.sight.epoch if self.sight else 0
         if period != led.period:
             follows = period == led.period + 1
-            # Own units that may have been added went to the old name: they are nobody else's there, and hide
-            # nobody's under the new one.
+            # Own units that may have been added went to the old name, not to the new one.
             led.last_base, led.last_epoch = led.base + led.maybe if follows else 0.0, led.epoch
             led.told = led.told and follows
             led.base, led.maybe, led.period, led.unclosed = 0.0, 0.0, period, True
@@ -314,7 +307,7 @@
         led.owed, led.settled, led.guessed = 0.0, 0.0, guessed
         return [self._call(led, name_of(led.customer, period, led.epoch), add)]
 
-    def settle(self, now: float, led: Ledger, units: float) -> None:
+    def settle(self, now: float, led: CustomerQuota, units: float) -> None:
         """Correct a guessed charge, in the TAT now and at the counter with the next call.  A ceiling goes by
         the guess: what is given back lets more through under it, and so comes out of the headroom, into
         which goes what is taken besides.  A gateway that holds no part of it gives nothing back."""
@@ -325,19 +318,19 @@
         led.quota.take(units, -math.inf)
         led.settled += units
 
-    def _call(self, led: Ledger, name: int, units: float) -> Action:
+    def _call(self, led: CustomerQuota, name: int, units: float) -> api.Action:
         led.asked[name] = units
         self._calls[name] = led
-        return Count(name, units, NAME_LIVES * led.period_ms)
+        return api.AddToCounter(name, units, NAME_LIVES * led.period_ms)
 
-    def total(self, now: float, event: Total) -> tuple[Ledger, bool, list[Action]] | None:
+    def total(self, now: float, event: api.CounterReply) -> tuple[CustomerQuota, bool, api.Actions] | None:
         """Take in an answer; gives the ledger, whether its requests may count on it, and further calls."""
         led = self._calls.pop(event.name, None)
         if led is None:
             return None
         units, quota = led.asked.pop(event.name), led.quota
         current = event.name == name_of(led.customer, led.period, led.epoch)
-        good = event.verdict is Verdict.OK
+        good = event.verdict is api.Verdict.OK
         self._quickest = min(self._quickest, event.rtt_ms) if good else self._quickest
         late = (event.rtt_ms - self._quickest) / max(self._settings.counter_timeout_ms, 1.0) if good else 1.0
         step = CALL_GAIN * (1 - late / CALL_BUSY)
@@ -345,7 +338,7 @@
         if not good:
             if not current:  # the closing read: what was told of this period stands
                 return led, True, []
-            if event.verdict is Verdict.TIMEOUT:
+            if event.verdict is api.Verdict.TIMEOUT:
                 led.maybe += units
             else:
                 led.owed += units
@@ -380,13 +373,10 @@
         return led, True, []
 
 
-# Servers ----------------------------------------------------------------------------------------------
-
-
-class Peer:
+class ServerState:
     """What this gateway knows of one server."""
 
-    def __init__(self, info: Server, rank: float, turn: float) -> None:
+    def __init__(self, info: api.Server, rank: float, turn: float) -> None:
         self.info = info
         self.rank = rank  # place in the order in which servers come into the aperture
         self.out: dict[tuple[str, int], float] = {}  # attempts out, and since when
@@ -409,14 +399,14 @@
         self.failed = now
 
 
-class Fleet:
+class LoadBalancer:
     """Membership, load and health of the servers, and the choice among them."""
 
-    def __init__(self, settings: Settings, rng: random.Random) -> None:
+    def __init__(self, settings: api.Settings, rng: random.Random) -> None:
         self._settings, self._rng = settings, rng
-        self._peers: dict[int, Peer] = {}
-        self._up: list[Peer] = []
-        self._aim = min((c.aim_ms for c in settings.classes), default=SECOND_MS)
+        self._peers: dict[int, ServerState] = {}
+        self._up: list[ServerState] = []
+        self._aim = min((c.latency_objective_ms for c in settings.classes), default=SECOND_MS)
         self._mean = GUESS_OF_AIM * self._aim
         self._sent, self._sent_at = 0.0, 0.0
         self._began = math.inf  # time of the first send
@@ -425,32 +415,33 @@
         self._unmet = 0.0  # EWMA share of attempts that got no connection
         self._more = LIMIT_SPARE  # ... how many more than its part this gateway may have
 
-    def members(self, event: Members) -> None:
+    def members(self, event: api.EndpointList) -> None:
         """Take in a list: whole ones replace, changes apply to what is held."""
         listed = {server.id: server for server in event.servers}
-        if event.scope in (Scope.FULL, Scope.WARM_COPY):
+        if event.scope in (api.ListScope.FULL, api.ListScope.CACHED):
             for key in self._peers:
                 if key not in listed:
-                    self._peers[key].info = replace(self._peers[key].info, state=State.GONE)
+                    self._peers[key].info = replace(self._peers[key].info, state=api.EndpointState.GONE)
         for key, server in listed.items():
             peer = self._peers.get(key)
             if peer is None:
-                self._peers[key] = Peer(server, self._rng.random(), self._rng.random())
+                self._peers[key] = ServerState(server, self._rng.random(), self._rng.random())
                 continue
             if server.started_ms > peer.info.started_ms:
-                fresh = self._peers[key] = Peer(server, peer.rank, self._rng.random())
+                fresh = self._peers[key] = ServerState(server, peer.rank, self._rng.random())
                 fresh.out, fresh.base = peer.out, peer.base
             self._peers[key].info = server
-        self._peers = {k: p for k, p in self._peers.items() if p.info.state is not State.GONE or p.out}
-        self._up = [p for p in self._peers.values() if p.info.state is State.UP]
+        gone = api.EndpointState.GONE
+        self._peers = {k: p for k, p in self._peers.items() if p.info.state is not gone or p.out}
+        self._up = [p for p in self._peers.values() if p.info.state is api.EndpointState.UP]
         self._up.sort(key=lambda p: p.rank)
 
     def avoided(self, now: float) -> int:
         """How many are listed and draining, or have failed lately."""
-        listed = [p for p in self._peers.values() if p.info.state is not State.GONE]
-        return sum(p.info.state is State.DRAINING or p.failures(now) > AVOIDED for p in listed)
+        listed = [p for p in self._peers.values() if p.info.state is not api.EndpointState.GONE]
+        return sum(p.info.state is api.EndpointState.DRAINING or p.failures(now) > AVOIDED for p in listed)
 
-    def _step_back(self, now: float, peer: Peer) -> None:
+    def _step_back(self, now: float, peer: ServerState) -> None:
         """To any place behind the aperture: memory of a bad server by what was tried since, not by time.  Not
         to the end, where all gateways would leave it until all others had failed them too."""
         if self._up:
@@ -460,7 +451,7 @@
 
     def _part(self) -> float:
         """This gateway's part of what the servers bear of all gateways' attempts."""
-        return LIMIT_START * len(self._up) / self._settings.gateways
+        return LIMIT_START * len(self._up) / self._settings.gateway_count
 
     def _pace(self, now: float) -> float:
         """Own sends per millisecond, without the lag of a fresh start: a restarted gateway of few would else
@@ -496,7 +487,7 @@
         """Whether all is out that may be, over all servers: one at each is hundreds over all gateways."""
         return self._rng.random() >= self._part() + self._more - self._out
 
-    def _expect(self, now: float, peer: Peer) -> tuple[float, float]:
+    def _expect(self, now: float, peer: ServerState) -> tuple[float, float]:
         """Latency without a queue, and the queue's delay; news of a queue fades, lest a server be shunned for
         a queue that is long gone."""
         if not peer.base:
@@ -513,15 +504,15 @@
         usual = max(sum(self._expect(now, self._peers[peer_id])), SILENT_OF_POOL * self._latency * aim)
         return max(times * usual, SILENT_OF_AIM * aim)
 
-    def _warm_part(self, now: float, peer: Peer) -> float:
+    def _warm_part(self, now: float, peer: ServerState) -> float:
         """The least part of its capacity that a server has by now."""
         s = self._settings
         age = max(now - peer.info.started_ms, 0.0)  # by another clock, its start may lie ahead
-        if peer.info.started_ms <= 0 or age >= s.warm_within_ms:
+        if peer.info.started_ms <= 0 or age >= s.slow_start_ms:
             return 1.0
-        return max(s.cold_from + (1 - s.cold_from) * age / s.warm_within_ms, 0.01)  # one divides by it
+        return max(s.slow_start_fraction + (1 - s.slow_start_fraction) * age / s.slow_start_ms, 0.01)
 
-    def _may_warm(self, now: float, peer: Peer, usual: float) -> bool:
+    def _may_warm(self, now: float, peer: ServerState, usual: float) -> bool:
         """Whether a server is warm, or has its turn, from what a warm one is usually sent.
 
         Turns begin anywhere, by the seed, and end after a fall window: so few hold one at any moment.
@@ -529,8 +520,8 @@
         s, part = self._settings, self._warm_part(now, peer)
         if part >= 1.0:
             return True
-        window = max(s.fall_window_ms, SECOND_MS)
-        rate = max(COLD_SAFETY * s.fall_multiple * part * usual, COLD_LEAST / window / s.gateways)
+        window = max(s.overload_window_ms, SECOND_MS)
+        rate = max(COLD_SAFETY * s.overload_multiple * part * usual, COLD_LEAST / window / s.gateway_count)
         turn = peer.turn + rate * (now - peer.turn_at if peer.turn_at >= 0 else 0.0)
         peer.turn, peer.turn_at = turn if turn <= 1 + min(rate * window, 1.0) else turn % 1, now
         return peer.turn >= 1
@@ -539,9 +530,10 @@
         """Own sends per millisecond."""
         return self._sent * math.exp(-(now - self._sent_at) / RATE_TAU_MS) / RATE_TAU_MS
 
-    def pick(self, now: float, allowed: Where, tried: list[int]) -> tuple[Server, float] | None:
+    def pick(self, now: float, allowed: api.ServerFilter,
+             tried: list[int]) -> tuple[api.Server, float] | None:
         """The server with the least expected delay, and that delay; None where none may be used."""
-        best: tuple[float, Peer, float] | None = None
+        best: tuple[float, ServerState, float] | None = None
         home, draw = self._settings.zone, self._rng.random
         # Aperture: of hundreds of gateways that each meet all servers none knows any, and all go on filling
         # what is slow, jammed or lost.  So each keeps to few, in an order of its own; one that fails it goes
@@ -588,19 +580,19 @@
         self._sent_at, self._began = now, min(self._began, now)
         peer.turn = max(peer.turn - 1, 0.0)
 
-    def outcome(self, now: float, event: Outcome, aim: float) -> None:
+    def outcome(self, now: float, event: api.AttemptOutcome, aim: float) -> None:
         """Learn from how an attempt ended."""
         peer = self._peers.get(event.server)
         if peer is None:
             return
         self._out -= (event.id, event.attempt) in peer.out  # else its answer had begun before
         sent = peer.out.pop((event.id, event.attempt), now)
-        bad = event.verdict not in (Verdict.OK, Verdict.MOOT, Verdict.CANCELLED)
-        self._unmet += POOL_GAIN * ((event.verdict is Verdict.CONNECT_FAILED) - self._unmet)
-        if event.verdict in (Verdict.OK, Verdict.ERROR, Verdict.FULL):
+        bad = event.verdict not in (api.Verdict.OK, api.Verdict.NOT_SENT, api.Verdict.CANCELLED)
+        self._unmet += POOL_GAIN * ((event.verdict is api.Verdict.CONNECT_FAILED) - self._unmet)
+        if event.verdict in (api.Verdict.OK, api.Verdict.ERROR, api.Verdict.QUEUE_FULL):
             peer.answered = now
             peer.newest = max(peer.newest, sent)
-        if event.verdict is Verdict.OK:
+        if event.verdict is api.Verdict.OK:
             rtt = event.rtt_ms
             if not peer.base:
                 peer.base = peer.latency = self._mean / max(peer.info.size, 0.1)
@@ -620,16 +612,16 @@
             elif self._more < LIMIT_SPARE:  # one that slow answers took off comes back with quick ones
                 self._more += LIMIT_BACK
             self._mean += (BASE_GAIN_DOWN if rtt < self._mean else BASE_GAIN_UP) / 2 * (rtt - self._mean)
-        elif event.verdict is Verdict.FULL:
+        elif event.verdict is api.Verdict.QUEUE_FULL:
             # Its answer comes at once: without this a full server would look idle and draw all traffic.
             self._jammed(now, peer, self._aim)
-        elif event.verdict is Verdict.TIMEOUT:
+        elif event.verdict is api.Verdict.TIMEOUT:
             if not self.calm(now):
                 self._latency += POOL_GAIN * (min(event.rtt_ms / aim, 1.0) - self._latency)
                 self._more = max((self._more - self._part()) / 2, -self._part() / 2)
             if sent >= peer.newest:  # else it was lost on its way, in no queue
                 self._jammed(now, peer, event.rtt_ms)
-        if event.verdict not in (Verdict.MOOT, Verdict.CANCELLED):
+        if event.verdict not in (api.Verdict.NOT_SENT, api.Verdict.CANCELLED):
             peer.judge(now, bad)
             if bad:
                 self._step_back(now, peer)
@@ -644,72 +636,71 @@
         self._step_back(now, peer)
         return self.calm(now)
 
-    def _jammed(self, now: float, peer: Peer, waited: float) -> None:
+    def _jammed(self, now: float, peer: ServerState, waited: float) -> None:
         """No answer in time: the queue is this long at least, and work given up may still be in it."""
         if waited >= peer.latency:
             peer.latency, peer.guessed = waited, True
         peer.timed = now
 
 
-# Requests ---------------------------------------------------------------------------------------------
-
-
-class Job:
+class PendingRequest:
     """One request from its arrival to its final answer."""
 
-    def __init__(self, request: Request, cls: RequestClass, ledger: Ledger, now: float, most: int) -> None:
+    def __init__(self, request: api.Request, cls: api.RequestClass, ledger: CustomerQuota, now: float,
+                 most: int) -> None:
         self.request, self.cls, self.ledger, self.most = request, cls, ledger, most  # attempts at most
         self.arrived, self.deadline = now, now + request.remaining_ms
         self.attempts: list[int] = []  # the server of each
-        self.server: Server | None = None  # where an attempt is out
-        self.first_risk: tuple[Server, float] | None = None  # first attempt that may have run: where and when
+        self.server: api.Server | None = None  # where an attempt is out
+        self.first_risk: tuple[api.Server, float] | None = None  # first attempt that may have run, and when
 
 
-class Gateway:
+class DecisionEngine:
     """Ties quota, servers and requests: one event in, its actions out."""
 
-    def __init__(self, settings: Settings, seed: int) -> None:
+    def __init__(self, settings: api.Settings, seed: int) -> None:
         self._settings = settings
         self._classes = {cls.name: cls for cls in settings.classes}
         rng = self._rng = random.Random(seed)
-        self._quota = Quota(settings, rng)
-        self._fleet = Fleet(settings, rng)
-        self._jobs: dict[str, Job] = {}
-        self._wakes: dict[int, Ledger | tuple[str, int, float]] = {}
+        self._quota = QuotaManager(settings, rng)
+        self._fleet = LoadBalancer(settings, rng)
+        self._jobs: dict[str, PendingRequest] = {}
+        self._wakes: dict[int, CustomerQuota | tuple[str, int, float]] = {}
         self._token = 0
-        self._retries = self._saved = 1 + RETRY_SAVED / settings.gateways
+        self._retries = self._saved = 1 + RETRY_SAVED / settings.gateway_count
 
-    def handle(self, now: float, event: Event) -> list[Action]:
+    def handle(self, now: float, event: api.Event) -> list[api.Action]:
         """Decide on one event."""
         match event:
-            case Request():
+            case api.Request():
                 return self._request(now, event)
-            case Outcome():
+            case api.AttemptOutcome():
                 return self._outcome(now, event)
-            case Total():
+            case api.CounterReply():
                 return self._total(now, event)
-            case Due():
+            case api.TimerFired():
                 return self._due(now, event.token)
-            case Left():
+            case api.ClientDisconnected():
                 self._drop(event.id)
-            case Started(id=rid) if (job := self._jobs.get(rid)) and job.server:
+            case api.ResponseStarted(id=rid) if (job := self._jobs.get(rid)) and job.server:
                 # The answer has begun: its rest tells nothing of a queue, nor takes of what servers bear.
                 self._fleet._out -= 1
                 self._fleet._peers[job.server.id].out.pop((rid, len(job.attempts) - 1))
-            case Members():
+            case api.EndpointList():
                 self._fleet.members(event)
-                if event.scope in (Scope.WARM_COPY, Scope.LOST) and self._settings.must_subscribe:
-                    return [Subscribe()]
+                stale = event.scope in (api.ListScope.CACHED, api.ListScope.LOST)
+                if stale and self._settings.must_subscribe:
+                    return [api.Subscribe()]
         return []
 
-    def retune(self, settings: Settings) -> None:
+    def retune(self, settings: api.Settings) -> None:
         """Go by new settings; what is open keeps the class and the attempts it began with."""
         self._settings = self._quota._settings = self._fleet._settings = settings
         self._classes = {cls.name: cls for cls in settings.classes}
         self._quota._plans = {plan.name: plan for plan in settings.plans}
         self._quota._conform = {name: self._quota._conform.get(name, PRIOR) for name in self._quota._plans}
-        self._fleet._aim = min((c.aim_ms for c in settings.classes), default=SECOND_MS)
-        self._saved = 1 + RETRY_SAVED / settings.gateways
+        self._fleet._aim = min((c.latency_objective_ms for c in settings.classes), default=SECOND_MS)
+        self._saved = 1 + RETRY_SAVED / settings.gateway_count
 
     def avoided(self, now: float) -> int:
         """How many of the listed servers are sent nothing, or only what looks whether they are back."""
@@ -722,27 +713,27 @@
             self._book(job, None)
 
     @staticmethod
-    def _book(job: Job, server: Server | None) -> None:
+    def _book(job: PendingRequest, server: api.Server | None) -> None:
         """Book where an attempt is out, if one is: the one place where the open cap's count moves."""
         job.ledger.open += (server is not None) - (job.server is not None)
         job.server = server
 
-    def _wake(self, at: float, purpose: Ledger | tuple[str, int, float]) -> Action:
+    def _wake(self, at: float, purpose: CustomerQuota | tuple[str, int, float]) -> api.Action:
         self._token += 1
         self._wakes[self._token] = purpose
-        return Wake(at, self._token)
+        return api.SetTimer(at, self._token)
 
-    def _request(self, now: float, event: Request) -> list[Action]:
-        cls = self._classes.get(event.cls)
+    def _request(self, now: float, event: api.Request) -> list[api.Action]:
+        cls = self._classes.get(event.request_class)
         if cls is None:
-            raise ValueError(f"class {event.cls!r} is not among the settings")
+            raise ValueError(f"class {event.request_class!r} is not among the settings")
         led = self._quota.ledger(now, event)
-        job = self._jobs[event.id] = Job(event, cls, led, now, self._settings.max_attempts)
+        job = self._jobs[event.id] = PendingRequest(event, cls, led, now, self._settings.max_attempts)
         if led.plan.rate <= 0:
             return self._send(now, job)
         wait = led.quota.wait(now, event.units) if led.told or led.version else 0.0
-        if led.plan.open_limit and led.open >= max(led.plan.open_limit * led.part(), 1.0):
-            wait = max(wait, WAIT_OF_AIM * cls.aim_ms)  # the others' are guessed by their part of the units
+        if led.plan.concurrency_limit and led.open >= max(led.plan.concurrency_limit * led.part(), 1.0):
+            wait = max(wait, WAIT_OF_AIM * cls.latency_objective_ms)
         if wait > 0:
             return self._refuse(now, job, wait)
         if self._quota.spare(now, led, event.units):
@@ -754,14 +745,13 @@
             return self._quota.ask(now, led, event.units * (weight - 1))
         return self._unconfirmed(now, job)
 
-    def _unconfirmed(self, now: float, job: Job, spare: bool = False) -> list[Action]:
+    def _unconfirmed(self, now: float, job: PendingRequest, spare: bool = False) -> list[api.Action]:
         """Decide without the counter: the own part of the quota, and of the ceiling's headroom."""
         led, units = job.ledger, job.request.units
         wait = 0.0 if spare else self._quota.unheard_wait(now, led, units)
         if not spare and not self._fleet.calm(now) and not self._fleet.idle(now):
-            # What the counter has not confirmed goes first when room gets short: one in four lies beyond its
-            # quota, and they fill the servers for those inside.  Covers every overload; harms, mildly, where
-            # the counter is down and the servers are slow for a reason that fewer sends do not mend.
+            # Under overload, requests that the counter has not confirmed are rejected first: one in four is
+            # beyond its quota.  Mild harm where the counter is down and servers are slow for another reason.
             wait = max(wait, led.quota.per_unit)
         if wait > 0:
             return self._refuse(now, job, wait)
@@ -780,7 +770,7 @@
                 actions.append(self._wake(now + FLUSH_SHARE * led.period_ms, led))
         return actions
 
-    def _total(self, now: float, event: Total) -> list[Action]:
+    def _total(self, now: float, event: api.CounterReply) -> list[api.Action]:
         answer = self._quota.total(now, event)
         if answer is None:
             return []
@@ -806,34 +796,36 @@
             actions += self._quota.ask(now, led)
         return actions
 
-    def _refuse(self, now: float, job: Job, wait: float) -> list[Action]:
+    def _refuse(self, now: float, job: PendingRequest, wait: float) -> list[api.Action]:
         self._drop(job.request.id)
-        return [Refuse(job.request.id, max(wait, 1.0))]
+        return [api.Reject(job.request.id, max(wait, 1.0))]
 
-    def _allowed(self, now: float, job: Job, out: float | None = None) -> Where | Literal[False]:
+    def _allowed(self, now: float, job: PendingRequest,
+                 out: float | None = None) -> api.ServerFilter | Literal[False]:
         """Servers that the rule on repeats leaves, behind what is out since: all if None, none if False."""
         risk = job.first_risk or (None if out is None or job.server is None else (job.server, out))
-        if risk is None or job.cls.effect is Effect.SAFE:
+        if risk is None or job.cls.idempotency is api.Idempotency.IDEMPOTENT:
             return None
-        if job.cls.effect is Effect.UNSAFE or now >= risk[1] + job.cls.window_ms:
+        late = now >= risk[1] + job.cls.deduplication_window_ms
+        if job.cls.idempotency is api.Idempotency.NOT_IDEMPOTENT or late:
             return False
         first = risk[0]
-        if job.cls.group is Group.ZONE:
+        if job.cls.deduplication_scope is api.DeduplicationScope.ZONE:
             return lambda server: server.zone == first.zone
-        if job.cls.group is Group.CELL:
+        if job.cls.deduplication_scope is api.DeduplicationScope.CELL:
             return lambda server: server.cell == first.cell
         return None
 
-    def _choose(self, now: float, job: Job, allowed: Where) -> Server | None:
+    def _choose(self, now: float, job: PendingRequest, allowed: api.ServerFilter) -> api.Server | None:
         """The server of the next attempt; None where none can be expected to answer in time."""
-        aim_left = min(job.arrived + job.cls.aim_ms, job.deadline) - now
+        aim_left = min(job.arrived + job.cls.latency_objective_ms, job.deadline) - now
         choice = None if self._fleet.crowded() else self._fleet.pick(now, allowed, job.attempts)
         if choice is None or (choice[1] > FIT_OF_AIM * aim_left and not (
                 aim_left > 0 and not job.attempts and self._fleet.trial(now, choice[0].id))):
             return None
         return choice[0]
 
-    def _send(self, now: float, job: Job) -> list[Action]:
+    def _send(self, now: float, job: PendingRequest) -> list[api.Action]:
         """Start an attempt where it can still be answered in time, else give the final answer."""
         left, attempt, allowed = job.deadline - now, len(job.attempts), self._allowed(now, job)
         spent = attempt >= job.most or left <= self._settings.tick_ms
@@ -846,25 +838,26 @@
         server = chosen.id
         job.attempts.append(server)
         self._book(job, chosen)
-        patience = self._fleet.patience(now, server, job.cls.aim_ms)
+        patience = self._fleet.patience(now, server, job.cls.latency_objective_ms)
         self._fleet.sent(now, server, (job.request.id, attempt))
-        actions: list[Action] = [Send(job.request.id, server, left)]
+        actions: list[api.Action] = [api.SendAttempt(job.request.id, server, left)]
         if self._settings.can_cancel and patience < left:
             actions.append(self._wake(now + patience, (job.request.id, attempt, patience)))
         return actions
 
-    def _give_up(self, now: float, job: Job) -> list[Action]:
+    def _give_up(self, now: float, job: PendingRequest) -> list[api.Action]:
         """The final answer: a refusal where a client's retry is certain to do no harm, else a failure."""
-        if (job.first_risk is None or job.cls.effect is Effect.SAFE
-                or (job.cls.effect is Effect.KEYED and job.cls.group is Group.ALL)):
-            return self._refuse(now, job, WAIT_OF_AIM * job.cls.aim_ms)
+        if (job.first_risk is None or job.cls.idempotency is api.Idempotency.IDEMPOTENT
+                or (job.cls.idempotency is api.Idempotency.WITH_KEY
+                    and job.cls.deduplication_scope is api.DeduplicationScope.ALL)):
+            return self._refuse(now, job, WAIT_OF_AIM * job.cls.latency_objective_ms)
         self._drop(job.request.id)
-        return [Fail(job.request.id)]
+        return [api.Fail(job.request.id)]
 
-    def _outcome(self, now: float, event: Outcome) -> list[Action]:
+    def _outcome(self, now: float, event: api.AttemptOutcome) -> list[api.Action]:
         job = self._jobs.get(event.id)
-        self._fleet.outcome(now, event, job.cls.aim_ms if job else math.inf)
-        if job and event.verdict is Verdict.OK and event.true_units > 0 and job.ledger.plan.rate > 0:
+        self._fleet.outcome(now, event, job.cls.latency_objective_ms if job else math.inf)
+        if job and event.verdict is api.Verdict.OK and event.true_units > 0 and job.ledger.plan.rate > 0:
             units = event.true_units - job.request.units
             # Given back while answers are slow, it would let in what pressed servers could not end in time.
             if units > 0 or self._fleet.calm(now):
@@ -880,9 +873,9 @@
         self._retries -= 1
         return self._send(now, job)
 
-    def _due(self, now: float, token: int) -> list[Action]:
+    def _due(self, now: float, token: int) -> list[api.Action]:
         purpose = self._wakes.pop(token, ("", 0, 0.0))
-        if isinstance(purpose, Ledger):
+        if isinstance(purpose, CustomerQuota):
             purpose.flushing = False
             return self._quota.ask(now, purpose)
         rid, attempt, patience = purpose
@@ -893,4 +886,4 @@
         more = (self._retries >= 1 and len(job.attempts) < job.most
                 and self._allowed(now, job, now - patience) is not False)
         silent = self._fleet.silent(now, job.attempts[-1], (rid, attempt), patience)
-        return [Cancel(rid, attempt)] if silent and more else []
+        return [api.CancelAttempt(rid, attempt)] if silent and more else []
--- a/badgeryoke/decisions/priority_admission.py
+++ b/badgeryoke/decisions/priority_admission.py
@@ -23,15 +23,15 @@
 
 from badgeryoke.decisions.interface import (
     Action,
-    Outcome,
+    AttemptOutcome,
+    CounterReply,
     Plan,
-    Refuse,
+    Reject,
     Request,
     Server,
+    ServerFilter,
     Settings,
-    Total,
     Verdict,
-    Where,
 )
 from badgeryoke.decisions.policy import engine
 
@@ -44,12 +44,12 @@
 CEILING, LOAD, SERVER = "ceiling", "load", "server"  # why a reserved request is refused
 
 
-class Gateway(engine.Gateway):
+class PriorityDecisionEngine(engine.DecisionEngine):
     """A gateway's decisions where some requests are reserved."""
 
     def __init__(self, settings: Settings, seed: int) -> None:
         super().__init__(settings, seed)
-        self._aside: engine.Ledger | None = None  # the book of all reserved requests: it has no quota
+        self._aside: engine.CustomerQuota | None = None  # the book of all reserved requests: it has no quota
         self._verdict: Verdict | None = None  # of the attempt whose end is being handled
         self._pressed: dict[
             int, float
@@ -58,7 +58,7 @@
     def _presses(self, now: float, customer: int) -> bool:
         return bool(self._pressed) and now - self._pressed.get(customer, -KEPT_MS) < KEPT_MS
 
-    def _total(self, now: float, event: Total) -> list[Action]:
+    def _total(self, now: float, event: CounterReply) -> list[Action]:
         led = self._quota._calls.get(event.name) if self._pressed else None
         if led is not None and self._presses(now, led.customer):  # they are judged in this order
             led.pending = dict(sorted(led.pending.items(), key=lambda held: not self._reserved(held[0])))
@@ -66,19 +66,19 @@
 
     def _reserved(self, rid: str) -> bool:
         job = self._jobs.get(rid)
-        return job is not None and job.request.reserved > 0
+        return job is not None and job.request.reservation_rank > 0
 
     def _request(self, now: float, event: Request) -> list[Action]:
-        if event.reserved:
+        if event.reservation_rank:
             return self._first(now, event)
         if self._presses(now, event.customer):  # asked in vain, it would look used to the others
             led = self._quota.ledger(now, event)
             if (lacks := self._lacks(now, led, event.units)) > 0:
-                return [Refuse(event.id, max(lacks * led.quota.per_unit, 1.0))]
+                return [Reject(event.id, max(lacks * led.quota.per_unit, 1.0))]
         return super()._request(now, event)
 
     @staticmethod
-    def _lacks(now: float, led: engine.Ledger, units: float) -> float:
+    def _lacks(now: float, led: engine.CustomerQuota, units: float) -> float:
         """By how many units a request that is not reserved would cut into what is kept."""
         if not led.told or led.head is None:
             return 0.0
@@ -86,13 +86,15 @@
 
     def _first(self, now: float, event: Request) -> list[Action]:
         """A reserved request: to a server, unless a ceiling may be in its way."""
-        cls = self._classes.get(event.cls)
+        cls = self._classes.get(event.request_class)
         if cls is None:
-            raise ValueError(f"class {event.cls!r} is not among the settings")
+            raise ValueError(f"class {event.request_class!r} is not among the settings")
         led = self._quota.ledger(now, event)
         if self._aside is None:
-            self._aside = engine.Ledger(Plan("reserved"), event, self._settings, now, now)
-        job = self._jobs[event.id] = engine.Job(event, cls, self._aside, now, self._settings.max_attempts)
+            self._aside = engine.CustomerQuota(Plan("reserved"), event, self._settings, now, now)
+        job = self._jobs[event.id] = engine.PendingRequest(
+            event, cls, self._aside, now, self._settings.max_attempts
+        )
         if led.plan.rate <= 0 or led.head is None:
             return self._send(now, job)
         if len(self._pressed) >= MOST_PRESSED:
@@ -114,16 +116,16 @@
             return self._quota.ask(now, led)
         return self._unconfirmed(now, job)
 
-    def _under(self, now: float, job: engine.Job, meter: engine.Meter) -> list[Action]:
+    def _under(self, now: float, job: engine.PendingRequest, meter: engine.GcraBucket) -> list[Action]:
         """Send, and charge what proves that the ceiling holds."""
         actions = self._send(now, job)
         if job.attempts:
             meter.take(job.request.units, now)
         return actions
 
-    def _unconfirmed(self, now: float, job: engine.Job, spare: bool = False) -> list[Action]:
+    def _unconfirmed(self, now: float, job: engine.PendingRequest, spare: bool = False) -> list[Action]:
         request = job.request
-        if not request.reserved:
+        if not request.reservation_rank:
             led = job.ledger
             if (
                 led.head
@@ -143,24 +145,24 @@
                 return self._under(now, job, led.quota)
         return self._refuse(now, job, led.quota.per_unit)
 
-    def _refuse(self, now: float, job: engine.Job, wait: float) -> list[Action]:
-        if not job.request.reserved:
+    def _refuse(self, now: float, job: engine.PendingRequest, wait: float) -> list[Action]:
+        if not job.request.reservation_rank:
             return super()._refuse(now, job, wait)
         self._drop(job.request.id)
-        return [Refuse(job.request.id, max(wait, 1.0), CEILING)]
+        return [Reject(job.request.id, max(wait, 1.0), CEILING)]
 
-    def _give_up(self, now: float, job: engine.Job) -> list[Action]:
+    def _give_up(self, now: float, job: engine.PendingRequest) -> list[Action]:
         actions = super()._give_up(now, job)
-        if job.request.reserved:
-            cause = LOAD if self._verdict in (None, Verdict.FULL) else SERVER
+        if job.request.reservation_rank:
+            cause = LOAD if self._verdict in (None, Verdict.QUEUE_FULL) else SERVER
             return [
-                Refuse(one.id, one.retry_after_ms, cause) if isinstance(one, Refuse) else one
+                Reject(one.id, one.retry_after_ms, cause) if isinstance(one, Reject) else one
                 for one in actions
             ]
         return actions
 
-    def _choose(self, now: float, job: engine.Job, allowed: Where) -> Server | None:
-        rank, fleet = job.request.reserved, self._fleet
+    def _choose(self, now: float, job: engine.PendingRequest, allowed: ServerFilter) -> Server | None:
+        rank, fleet = job.request.reservation_rank, self._fleet
         if not rank:
             kept = not job.attempts and self._presses(now, job.request.customer)
             if kept and self._lacks(now, job.ledger, job.request.units) > 0:
@@ -174,7 +176,7 @@
             return None
         return choice[0]
 
-    def _outcome(self, now: float, event: Outcome) -> list[Action]:
+    def _outcome(self, now: float, event: AttemptOutcome) -> list[Action]:
         if self._aside is None or not self._reserved(event.id):
             return super()._outcome(now, event)
         self._retries += not event.ended  # a further attempt takes nothing of what all others may make
--- a/badgeryoke/decisions/quota_protocols.py
+++ b/badgeryoke/decisions/quota_protocols.py
@@ -11,7 +11,7 @@
 from badgeryoke.decisions.interface import Plan, Settings
 
 
-class Meter(Protocol):
+class GcraBucket(Protocol):
     """A store that fills at a rate, as a theoretical arrival time, ms; see `decide.Meter`."""
 
     tat: float
@@ -26,10 +26,10 @@
         """Units left of the burst."""
 
 
-M = TypeVar("M", bound=Meter)
+M = TypeVar("M", bound=GcraBucket)
 
 
-class Ledger(Protocol[M]):
+class CustomerQuota(Protocol[M]):
     """What a gateway knows of one customer's use; see `decide.Ledger`."""
 
     plan: Plan
--- a/badgeryoke/decisions/settings_parser.py
+++ b/badgeryoke/decisions/settings_parser.py
@@ -12,8 +12,12 @@
 from badgeryoke.decisions import interface as api
 
 T = TypeVar("T")
-EFFECTS = {"idempotent": api.Effect.SAFE, "deduplicated": api.Effect.KEYED, "at_most_once": api.Effect.UNSAFE}
-GROUPS = {group.value: group for group in api.Group}
+EFFECTS = {
+    "idempotent": api.Idempotency.IDEMPOTENT,
+    "deduplicated": api.Idempotency.WITH_KEY,
+    "at_most_once": api.Idempotency.NOT_IDEMPOTENT,
+}
+GROUPS = {group.value: group for group in api.DeduplicationScope}
 SUBSCRIBED = {"automatic": False, "subscribe": True}
 FLAGS = {True: True, False: False}  # 1 and 0 as well
 # Beyond these is a slip of the pen: sums would lose digits, and no query could be asked
@@ -126,16 +130,16 @@
 
 def _class(entry: Reader) -> api.RequestClass:
     effect = entry.word("idempotency", EFFECTS)
-    keyed = effect is api.Effect.KEYED
+    keyed = effect is api.Idempotency.WITH_KEY
     return api.RequestClass(
         name=entry.text("name"),
-        aim_ms=entry.above_0("slo_ms", MOST_MS),
+        latency_objective_ms=entry.above_0("slo_ms", MOST_MS),
         deadline_ms=entry.above_0("deadline_ms", MOST_MS),
-        effect=effect,
-        group=entry.word("group", GROUPS) if keyed else api.Group.ALL,
-        window_ms=entry.figure("window_ms", default=None if keyed else 0.0),
-        worth=entry.figure("worth"),
-        late_share=entry.figure("late_share", default=0.0),
+        idempotency=effect,
+        deduplication_scope=entry.word("group", GROUPS) if keyed else api.DeduplicationScope.ALL,
+        deduplication_window_ms=entry.figure("window_ms", default=None if keyed else 0.0),
+        priority_weight=entry.figure("worth"),
+        late_value_fraction=entry.figure("late_share", default=0.0),
     )
 
 
@@ -145,10 +149,10 @@
         name=entry.text("name"),
         rate=rate,
         burst=entry.above_0("most_at_once") if rate else entry.figure("most_at_once"),
-        open_limit=entry.whole("open", 0, MOST_UNITS),
+        concurrency_limit=entry.whole("open", 0, MOST_UNITS),
         price=entry.figure("worth_factor"),
-        over_worth=entry.figure("over_worth"),
-        over_cost=entry.figure("beyond_costs"),
+        over_quota_value=entry.figure("over_worth"),
+        over_quota_cost=entry.figure("beyond_costs"),
         ceiling_rate=ceiling_rate,
         ceiling_burst=entry.above_0("cap_depth") if ceiling_rate else entry.figure("cap_depth", default=0.0),
         ceiling_slack=entry.figure("tolerance", default=0.0),
@@ -163,8 +167,8 @@
     has_counter = family.word("has_counter", FLAGS)
     must_subscribe = top.word("discovery", SUBSCRIBED)
     return api.Settings(
-        me=top.whole("me", 0, gateways - 1),
-        gateways=gateways,
+        gateway_index=top.whole("me", 0, gateways - 1),
+        gateway_count=gateways,
         zone=top.text("zone") if "zone" in raw or raw.get("zones") else "",  # a site may have none
         tick_ms=top.above_0("tick_ms", MOST_MS),
         classes=tuple(map(_class, top.named("classes"))),
@@ -173,15 +177,15 @@
         ),  # none: a gateway that only keeps a share in a fleet
         has_counter=has_counter,
         counter_timeout_ms=family.above_0("counter_timeout_ms", MOST_MS) if has_counter else 0.0,
-        max_units=family.above_0("max_units", MOST_UNITS),
+        max_request_units=family.above_0("max_units", MOST_UNITS),
         max_attempts=limits.whole("try_limit", 1, MOST_ATTEMPTS),
         can_cancel=limits.word("cancelling", FLAGS),
         max_retry_after_ms=limits.figure("max_retry_after_ms"),
         must_subscribe=must_subscribe,
-        ask_within_ms=rules.figure("ask_every_ms", default=None if must_subscribe else 0.0),
-        answer_slack_ms=rules.figure("answer_slack_ms"),
-        cold_from=rules.figure("cold_from", 0.0, 1.0),
-        warm_within_ms=rules.figure("warm_within_ms"),
-        fall_multiple=rules.above_0("fall_multiple"),
-        fall_window_ms=rules.above_0("overload_for_ms"),
+        poll_within_ms=rules.figure("ask_every_ms", default=None if must_subscribe else 0.0),
+        response_slack_ms=rules.figure("answer_slack_ms"),
+        slow_start_fraction=rules.figure("cold_from", 0.0, 1.0),
+        slow_start_ms=rules.figure("warm_within_ms"),
+        overload_multiple=rules.above_0("fall_multiple"),
+        overload_window_ms=rules.above_0("overload_for_ms"),
     )
--- a/badgeryoke/decisions/simulator_adapter.py
+++ b/badgeryoke/decisions/simulator_adapter.py
@@ -12,25 +12,25 @@
 from typing import Any, NoReturn, TextIO
 
 from badgeryoke.decisions import interface as api
-from badgeryoke.decisions.policy.engine import Gateway
+from badgeryoke.decisions.policy.engine import DecisionEngine
 from badgeryoke.decisions.settings_parser import settings_from
 
 VERDICTS = {
     "Ok": api.Verdict.OK,
     "Failed": api.Verdict.ERROR,
-    "QueueFull": api.Verdict.FULL,
+    "QueueFull": api.Verdict.QUEUE_FULL,
     "TimedOut": api.Verdict.TIMEOUT,
     "ConnectError": api.Verdict.CONNECT_FAILED,
     "ResetByPeer": api.Verdict.RESET,
     "Canceled": api.Verdict.CANCELLED,
-    "Ignored": api.Verdict.MOOT,
+    "Ignored": api.Verdict.NOT_SENT,
 }
-STATES = {"U": api.State.UP, "L": api.State.DRAINING, "D": api.State.GONE}
+STATES = {"U": api.EndpointState.UP, "L": api.EndpointState.DRAINING, "D": api.EndpointState.GONE}
 SCOPES = {
-    "incr": api.Scope.CHANGES,
-    "total": api.Scope.FULL,
-    "warm_copy": api.Scope.WARM_COPY,
-    "lost": api.Scope.LOST,
+    "incr": api.ListScope.CHANGES,
+    "total": api.ListScope.FULL,
+    "warm_copy": api.ListScope.CACHED,
+    "lost": api.ListScope.LOST,
 }
 LAST_FIELDS = ("params", "text")
 
@@ -145,17 +145,17 @@
         case "QUERY":
             return api.Request(
                 id=fields.text("rid"),
-                cls=fields.text("cls"),
+                request_class=fields.text("cls"),
                 plan=fields.text("grade_of_service"),
                 customer=fields.integer("caller"),
                 remaining_ms=fields.number("remaining_ms"),
                 units=fields.number("cost_units"),
-                spread=fields.integer("spread"),
-                first=fields.integer("from_no", "0"),
+                gateway_set_size=fields.integer("spread"),
+                first_gateway=fields.integer("from_no", "0"),
                 retry=fields.flag("retry"),
             )
         case "COMPLETED":
-            return api.Outcome(
+            return api.AttemptOutcome(
                 id=fields.text("rid"),
                 attempt=fields.integer("hop"),
                 server=fields.integer("backend"),
@@ -166,20 +166,20 @@
                 report=fields.row("server_stats"),
             )
         case "TOTAL":
-            return api.Total(
+            return api.CounterReply(
                 name=fields.integer("cname"),
                 verdict=fields.choice("verdict", VERDICTS),
                 rtt_ms=fields.number("rtt_ms", "0"),
                 total=fields.number("result_value", "0"),
             )
         case "TICK_DUE":
-            return api.Due(fields.integer("name"))
+            return api.TimerFired(fields.integer("name"))
         case "LAPSED":
-            return api.Left(fields.text("rid"))
+            return api.ClientDisconnected(fields.text("rid"))
         case "STARTED":
-            return api.Started(fields.text("rid"))
+            return api.ResponseStarted(fields.text("rid"))
         case "PONG":
-            return api.Probed(
+            return api.HealthCheckResult(
                 server=fields.integer("backend"),
                 verdict=fields.choice("verdict", VERDICTS),
                 rtt_ms=fields.number("rtt_ms", "0"),
@@ -193,20 +193,20 @@
 def write_action(door: str, action: api.Action) -> str:
     """One action as a line of the wire."""
     match action:
-        case api.Send(id=rid, server=server, timeout_ms=timeout_ms):
+        case api.SendAttempt(id=rid, server=server, timeout_ms=timeout_ms):
             return f"HAND_OFF door={door} rid={rid} timeout_ms={timeout_ms:.3f} backend={server}"
-        case api.Refuse(id=rid, retry_after_ms=wait_ms):
+        case api.Reject(id=rid, retry_after_ms=wait_ms):
             hold = f" hold_off_ms={wait_ms:.3f}" if wait_ms > 0 else ""
             return f"BOUNCE door={door} rid={rid}{hold}"
         case api.Fail(id=rid):
             return f"ABORT door={door} rid={rid}"
-        case api.Count(name=name, units=units, expire_ms=expire_ms):
+        case api.AddToCounter(name=name, units=units, expire_ms=expire_ms):
             return f"POST_AMOUNT door={door} qty={units:.7g} cname={name} expire_in_ms={expire_ms:.3f}"
-        case api.Wake(at_ms=at_ms, token=token):
+        case api.SetTimer(at_ms=at_ms, token=token):
             return f"SET_ALARM door={door} when_ms={at_ms:.3f} name={token}"
-        case api.Cancel(id=rid, attempt=attempt):
+        case api.CancelAttempt(id=rid, attempt=attempt):
             return f"UNDO_SEND door={door} rid={rid} hop={attempt}"
-        case api.Probe(server=server):
+        case api.CheckHealth(server=server):
             return f"SAMPLE door={door} backend={server}"
         case api.Subscribe():
             return f"LISTEN door={door} active=1"
@@ -218,7 +218,7 @@
     """The instances of one process and the numbered lists they refer to."""
 
     def __init__(self) -> None:
-        self._doors: dict[str, Gateway] = {}
+        self._doors: dict[str, DecisionEngine] = {}
         self._rosters: dict[int, tuple[api.Server, ...]] = {}
 
     def roster(self, number: int, servers: tuple[api.Server, ...]) -> None:
@@ -233,12 +233,14 @@
             return
         try:
             if name == "UP":
-                self._doors[door] = Gateway(read_settings(fields.text("params")), fields.integer("init_seed"))
+                self._doors[door] = DecisionEngine(
+                    read_settings(fields.text("params")), fields.integer("init_seed")
+                )
                 return
             event: api.Event | None
             if name == "UPDATE":
                 scope = fields.choice("scope", SCOPES)
-                event = api.Members(scope, () if scope is api.Scope.LOST else self._listed(fields))
+                event = api.EndpointList(scope, () if scope is api.ListScope.LOST else self._listed(fields))
             else:
                 event = read_event(name, fields)
             gateway = self._doors.get(door)
--- a/badgeryoke/decisions/state_snapshot.py
+++ b/badgeryoke/decisions/state_snapshot.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from badgeryoke.decisions.interface import Action, Request
-from badgeryoke.decisions.policy.engine import FLUSH_SHARE, Gateway, Ledger, Peer
+from badgeryoke.decisions.policy.engine import FLUSH_SHARE, CustomerQuota, DecisionEngine, ServerState
 
 VERSION = 2
 MOST_LEDGERS = 20_000  # the last used; the others begin as after a crash
@@ -55,7 +55,7 @@
 Figure = int | float | bool | None
 
 
-class LedgerState(msgspec.Struct, array_like=True, frozen=True):
+class CustomerSnapshot(msgspec.Struct, array_like=True, frozen=True):
     """One customer's use."""
 
     customer: int
@@ -70,27 +70,27 @@
     figures: list[Figure]  # in the order of LEDGER
 
 
-class PeerState(msgspec.Struct, array_like=True, frozen=True):
+class ServerSnapshot(msgspec.Struct, array_like=True, frozen=True):
     """One server."""
 
     host: str
     figures: list[Figure]  # in the order of PEER
 
 
-class Handed(msgspec.Struct, array_like=True, frozen=True):
+class StateSnapshot(msgspec.Struct, array_like=True, frozen=True):
     """All of it."""
 
-    ledgers: list[LedgerState]
-    peers: list[PeerState]
+    ledgers: list[CustomerSnapshot]
+    peers: list[ServerSnapshot]
     quota: list[float]
     conform: dict[str, float]
     fleet: list[float]
     retries: float
 
 
-def _ledger(led: Ledger) -> LedgerState:
+def _ledger(led: CustomerQuota) -> CustomerSnapshot:
     told = sum(led.asked.values()) - sum(led.pending.values()) - led.guessed if led.asked else 0.0
-    return LedgerState(
+    return CustomerSnapshot(
         led.customer,
         led.plan.name,
         led.spread,
@@ -104,14 +104,14 @@
     )
 
 
-def give(gateway: Gateway, names: Mapping[int, str]) -> Handed:
+def take_snapshot(gateway: DecisionEngine, names: Mapping[int, str]) -> StateSnapshot:
     """The state of a gateway whose servers have these names; it goes on unchanged."""
     quota, fleet = gateway._quota, gateway._fleet
     ledgers = sorted(quota._ledgers.values(), key=lambda led: led.used)[-MOST_LEDGERS:]
-    return Handed(
+    return StateSnapshot(
         [_ledger(led) for led in ledgers],
         [
-            PeerState(names[number], [getattr(peer, name) for name in PEER])
+            ServerSnapshot(names[number], [getattr(peer, name) for name in PEER])
             for number, peer in fleet._peers.items()
             if number in names
         ],
@@ -122,7 +122,7 @@
     )
 
 
-def given(gateway: Gateway, handed: Handed) -> None:
+def mark_transferred(gateway: DecisionEngine, handed: StateSnapshot) -> None:
     """The new process serves by it: what was owed is the new one's to report, and so is what may be sent
     under a ceiling without the counter's word."""
     for state in handed.ledgers:
@@ -134,7 +134,9 @@
                 led.head.tat = math.inf
 
 
-def take(gateway: Gateway, now: float, handed: Handed, numbers: Mapping[str, int]) -> list[Action]:
+def restore_snapshot(
+    gateway: DecisionEngine, now: float, handed: StateSnapshot, numbers: Mapping[str, int]
+) -> list[Action]:
     """Go on from what the old process handed over.  What does not fit these settings is left out."""
     quota, fleet, settings = gateway._quota, gateway._fleet, gateway._settings
     actions: list[Action] = []
@@ -143,7 +145,7 @@
     _set(fleet, FLEET, list(handed.fleet))
     gateway._retries = min(handed.retries, gateway._saved)
     for server in handed.peers:
-        peer: Peer | None = fleet._peers.get(numbers.get(server.host, -1))
+        peer: ServerState | None = fleet._peers.get(numbers.get(server.host, -1))
         if peer is not None:
             _set(peer, PEER, server.figures)
     fleet._up.sort(key=lambda p: p.rank)
@@ -152,7 +154,7 @@
         if plan is None or state.customer in quota._ledgers:
             continue
         request = Request("", "", state.plan, state.customer, 0.0, 0.0, state.spread, state.first)
-        led = Ledger(plan, request, settings, now, quota._started)
+        led = CustomerQuota(plan, request, settings, now, quota._started)
         if led.period_ms != state.period_ms:
             continue  # other figures than the old process had
         led.quota.tat, led.own.tat, head = state.tats
@@ -173,7 +175,7 @@
         setattr(there, name, value)
 
 
-def encode(handed: Handed) -> bytes:
+def encode(handed: StateSnapshot) -> bytes:
     """With a head of version, checksum and length."""
     body = msgspec.msgpack.encode(handed)
     return b"STATE %d %d %d\n%b" % (VERSION, zlib.crc32(body), len(body), body)
@@ -191,12 +193,12 @@
     return int(words[2]), int(words[3])
 
 
-def decode(body: bytes, checksum: int) -> Handed:
+def decode(body: bytes, checksum: int) -> StateSnapshot:
     """The state; raises ValueError."""
     if zlib.crc32(body) != checksum:
         raise ValueError("checksum differs")
     try:
-        handed = msgspec.msgpack.decode(body, type=Handed)
+        handed = msgspec.msgpack.decode(body, type=StateSnapshot)
     except msgspec.DecodeError as fault:
         raise ValueError(str(fault)) from None
     sizes = {(len(LEDGER), len(one.figures)) for one in handed.ledgers}
--- a/badgeryoke/gateway/actor.py
+++ b/badgeryoke/gateway/actor.py
@@ -28,7 +28,7 @@
     def time(self) -> float: ...
 
 
-class Turns:
+class ActorScheduler:
     """The event loop, and the actors that have mail.
 
     One callback goes round all of them until none has any: what one actor posts to the next is handled in the
@@ -73,7 +73,7 @@
 class Actor:
     """Messages come in with post() and are handled in order; nobody else touches the actor's state."""
 
-    def __init__(self, loop: Turns) -> None:
+    def __init__(self, loop: ActorScheduler) -> None:
         self._loop = loop
         self._mail: deque[tuple[Callable[..., None], tuple[Any, ...]]] = deque()
 
--- a/badgeryoke/gateway/admin/rendering.py
+++ b/badgeryoke/gateway/admin/rendering.py
@@ -8,7 +8,7 @@
 
 from dataclasses import dataclass
 
-from badgeryoke.gateway.metrics import Figures
+from badgeryoke.gateway.metrics import Metrics
 
 RESULTS = ("completed", "rejected", "failed")  # in the order of the counts
 ESCAPES = str.maketrans({"\\": r"\\", '"': r"\"", "\n": r"\n", "\r": r"\r"})
@@ -23,7 +23,7 @@
     members_unavailable: int  # of these, the ones that get nothing now
 
 
-def render(figures: Figures, gauges: Gauges) -> str:
+def render(figures: Metrics, gauges: Gauges) -> str:
     """All figures, one a line, each line ended."""
     lines = [
         f'lb_downstream_requests{{lane="{name.translate(ESCAPES)}",result="{result}"}} {count}'
