--- a/badgeryoke/gateway/admin/server.py
+++ b/badgeryoke/gateway/admin/server.py
@@ -15,7 +15,7 @@
 LINGER_S = 0.5  # for a caller to fetch its answer and close
 
 
-class Operated(Protocol):
+class AdminOperations(Protocol):
     """What the operators may ask of a gateway."""
 
     def status(self) -> tuple[bool, str]:
@@ -38,7 +38,7 @@
         """The line that answers a FLEET call, given the rest of its own."""
 
 
-def answer(gateway: Operated, line: bytes) -> bytes:
+def answer(gateway: AdminOperations, line: bytes) -> bytes:
     """What a line gets."""
     word = line.strip()
     if word == b"STATUS":
@@ -54,14 +54,14 @@
     return b"-ERR unknown call; known are STATUS, METRICS, PAUSE, RESUME, FLEET\n"
 
 
-class ManagementFront:
+class AdminServer:
     """Listens for the operators.
 
     By asyncio's own streams: Tornado's IOStream closes both ways where a caller closes its side behind the
     line, as `nc -N` does, and the answer is lost with it.
     """
 
-    def __init__(self, gateway: Operated) -> None:
+    def __init__(self, gateway: AdminOperations) -> None:
         self._gateway = gateway
         self._server: asyncio.Server | None = None
         self._callers: dict[asyncio.StreamWriter, None] = {}  # oldest first
--- a/badgeryoke/gateway/application.py
+++ b/badgeryoke/gateway/application.py
@@ -16,28 +16,28 @@
 
 from tornado.netutil import bind_sockets
 
-from badgeryoke.decisions.interface import Members, State, Total, Verdict
-from badgeryoke.gateway.actor import Turns, WallClock
+from badgeryoke.decisions.interface import CounterReply, EndpointList, EndpointState, Verdict
+from badgeryoke.gateway.actor import ActorScheduler, WallClock
 from badgeryoke.gateway.config.operators_file import NAME
 from badgeryoke.gateway.config.platform_file import Config, ConfigError, lacking
-from badgeryoke.gateway.diameter.client_connection import DiameterFront
-from badgeryoke.gateway.diameter.peer import Identity
-from badgeryoke.gateway.diameter.upstream_connection import DiameterServerLink
-from badgeryoke.gateway.discovery.client import Host, HostGroup
-from badgeryoke.gateway.dispatcher import Core
-from badgeryoke.gateway.graceful_shutdown import Drain, Effect, Event
-from badgeryoke.gateway.graceful_shutdown import State as Standing
-from badgeryoke.gateway.quota_counter.client import CounterLink
-from badgeryoke.gateway.resp.listener import BACKLOG, RespFront
-from badgeryoke.gateway.resp.upstream_connection import RespServerLink
-from badgeryoke.gateway.response_stream import Room
+from badgeryoke.gateway.diameter.client_connection import DiameterListener
+from badgeryoke.gateway.diameter.peer import PeerIdentity
+from badgeryoke.gateway.diameter.upstream_connection import DiameterUpstream
+from badgeryoke.gateway.discovery.client import DiscoveryClient, Endpoint
+from badgeryoke.gateway.dispatcher import Dispatcher
+from badgeryoke.gateway.graceful_shutdown import GracefulShutdown, ShutdownEffect, ShutdownEvent
+from badgeryoke.gateway.graceful_shutdown import ShutdownState as Standing
+from badgeryoke.gateway.quota_counter.client import QuotaCounterClient
+from badgeryoke.gateway.resp.listener import BACKLOG, RespListener
+from badgeryoke.gateway.resp.upstream_connection import RespUpstream
+from badgeryoke.gateway.response_stream import BufferBudget
 
 if TYPE_CHECKING:
-    from badgeryoke.decisions.state_snapshot import Handed
-    from badgeryoke.gateway.admin.server import ManagementFront
-    from badgeryoke.gateway.cluster.connection_leases import Pools
-    from badgeryoke.gateway.cluster.service import Service
-    from badgeryoke.gateway.hot_restart.transfer import Giver
+    from badgeryoke.decisions.state_snapshot import StateSnapshot
+    from badgeryoke.gateway.admin.server import AdminServer
+    from badgeryoke.gateway.cluster.connection_leases import ConnectionLeases
+    from badgeryoke.gateway.cluster.service import ClusterService
+    from badgeryoke.gateway.hot_restart.transfer import SnapshotSender
 
 log = logging.getLogger(__name__)
 
@@ -76,17 +76,17 @@
 LIST_S = 1.0  # for discovery's first answer, before the state of an older process is asked for
 
 
-class NoCounter:
+class AbsentCounter:
     """Stands where the settings give no counter."""
 
-    def __init__(self, loop: Turns) -> None:
+    def __init__(self, loop: ActorScheduler) -> None:
         self._loop = loop
 
-    def add(self, name: int, units: float, life_ms: float, done: Callable[[Total], None]) -> None:
-        self._loop.call_soon(done, Total(name, Verdict.CONNECT_FAILED, 0.0))
+    def add(self, name: int, units: float, life_ms: float, done: Callable[[CounterReply], None]) -> None:
+        self._loop.call_soon(done, CounterReply(name, Verdict.CONNECT_FAILED, 0.0))
 
 
-class App:
+class GatewayApplication:
     """One gateway."""
 
     def __init__(
@@ -96,36 +96,36 @@
         reread: Callable[[], Config] | None = None,
     ) -> None:
         self._config, self._reread = config, reread
-        self._loop = loop = Turns(asyncio.get_running_loop())
+        self._loop = loop = ActorScheduler(asyncio.get_running_loop())
         self._clock = clock or WallClock(time.monotonic, time.time)
-        self._links: dict[int, tuple[Host, RespServerLink | DiameterServerLink]] = {}
+        self._links: dict[int, tuple[Endpoint, RespUpstream | DiameterUpstream]] = {}
         self._counter = (
-            CounterLink(config.counter, config.settings.counter_timeout_ms, loop, self._clock)
+            QuotaCounterClient(config.counter, config.settings.counter_timeout_ms, loop, self._clock)
             if config.counter is not None
             else None
         )
         room = int(max(config.memory_mb - PROGRAM_MB, LEAST_MB) * 1024 * 1024)
-        self.core = Core(
+        self.core = Dispatcher(
             config.settings,
             config.seed,
             loop,
             self._clock,
             self._link,
-            self._counter or NoCounter(loop),
+            self._counter or AbsentCounter(loop),
             int(room * BODIES_PART),
             config.operators.counter_watch.enabled,
             config.operators.fleet is not None,
         )
-        self._room = Room(int(room * LONG_PART))
-        self._hosts = HostGroup(
+        self._room = BufferBudget(int(room * LONG_PART))
+        self._hosts = DiscoveryClient(
             config.discovery,
             config.known,
             loop,
             self._changed,
-            config.settings.gateways,
+            config.settings.gateway_count,
             random.Random(config.seed).random,
         )
-        self._front = RespFront(
+        self._front = RespListener(
             self.core,
             loop,
             int(config.sockets * CLIENT_PART),
@@ -133,13 +133,13 @@
             int(room * HALVES_PART),
             int(config.sockets * CROWD_PART),
         )
-        self._diameter: DiameterFront | None = None
+        self._diameter: DiameterListener | None = None
         if (second := config.diameter) is not None:
             address = second.listen[0] if second.listen is not None else "127.0.0.1"
-            self._me = Identity(second.origin_host, second.origin_realm, address, int(time.time()))
+            self._me = PeerIdentity(second.origin_host, second.origin_realm, address, int(time.time()))
             self._services = {plan: number for number, plan in second.plans.items()}
             if second.listen is not None:
-                self._diameter = DiameterFront(
+                self._diameter = DiameterListener(
                     second,
                     config.settings,
                     self._me,
@@ -148,12 +148,12 @@
                     self._clock,
                     int(config.sockets * DIAMETER_PART),
                 )
-        self._drain = Drain()
+        self._drain = GracefulShutdown()
         self._term_at = math.inf  # of the first SIGTERM
-        self._management: ManagementFront | None = None
-        self._giver: Giver | None = None
-        self.fleet: Service | None = None
-        self._pools: Pools | None = None
+        self._management: AdminServer | None = None
+        self._giver: SnapshotSender | None = None
+        self.fleet: ClusterService | None = None
+        self._pools: ConnectionLeases | None = None
         if (fleet := config.operators.fleet) is not None and all(
             one.name != (fleet.me or config.name) for one in fleet.members
         ):
@@ -164,13 +164,14 @@
     def start(self) -> None:
         """Listen, connect and watch."""
         if self._config.operators.fleet is not None:
-            from badgeryoke.gateway.cluster.connection_leases import Pools  # not loaded where no fleet is
-            from badgeryoke.gateway.cluster.service import Service
+            # not loaded where no fleet is
+            from badgeryoke.gateway.cluster.connection_leases import ConnectionLeases
+            from badgeryoke.gateway.cluster.service import ClusterService
 
-            self.fleet = Service(self._config.operators.fleet, self._config.name)
+            self.fleet = ClusterService(self._config.operators.fleet, self._config.name)
             # A connection is used as long as the longest request on it, and then rests.
             longest_ms = max((cls.deadline_ms for cls in self._config.settings.classes), default=0.0)
-            self._pools = self.fleet.pools = Pools(
+            self._pools = self.fleet.pools = ConnectionLeases(
                 self._config.operators.fleet,
                 self._loop,
                 self.fleet.now,
@@ -184,10 +185,10 @@
         self._hosts.start()
         if self._config.mgmt is not None:
             from badgeryoke.gateway.admin.server import (
-                ManagementFront,  # not loaded where nothing is asked for
+                AdminServer,  # not loaded where nothing is asked for
             )
 
-            self._management = ManagementFront(self)
+            self._management = AdminServer(self)
             host, port = self._config.mgmt
             sockets = bind_sockets(port, host, socket.AF_INET if "." in host else socket.AF_UNSPEC, 64)[:1]
             self.mgmt_address = sockets[0].getsockname()
@@ -224,7 +225,7 @@
         from badgeryoke.gateway.hot_restart import transfer  # not loaded where no process is replaced
 
         path = transfer.address(folder, self._config.name)
-        taker = transfer.Taker(path)
+        taker = transfer.SnapshotReceiver(path)
         until = self._loop.time() + LIST_S  # its servers are known by discovery's names
         while not self._hosts.heard and self._loop.time() < until:
             await asyncio.sleep(0.01)
@@ -237,20 +238,20 @@
         if self._drain.ending:
             return
         self._listen()
-        self._giver = transfer.Giver(path, self)
+        self._giver = transfer.SnapshotSender(path, self)
         await self._giver.listen()
         await taker.serving(lambda: self._front.share(1.0))
 
-    def give(self) -> Handed | str:
+    def give(self) -> StateSnapshot | str:
         """A successor asks for the state (handover.link.Predecessor)."""
         if self._drain.ending:
             return f"this process is {self._drain.state.value}"
         return self.core.give({number: name for name, number in self._hosts.numbers.items()})
 
-    def succeeded(self, handed: Handed) -> None:
+    def succeeded(self, handed: StateSnapshot) -> None:
         """The successor serves."""
         self.core.given(handed)
-        self._drained(Event.SUCCEEDED)
+        self._drained(ShutdownEvent.SUCCEEDED)
         if self.fleet is not None:  # the successor waits for the folder
             self._parting = asyncio.ensure_future(self._part_with(self.fleet))
 
@@ -284,13 +285,15 @@
         kept = {key: getattr(old, key) for key in OF_THE_PROCESS}
         self._config = taken = replace(config, counter=config.counter or old.counter, **kept)
         self._hosts.move(taken.discovery)
-        self._hosts.retune(taken.settings.gateways)
+        self._hosts.retune(taken.settings.gateway_count)
         if self._counter is not None and taken.counter is not None:
             self._counter.move(taken.counter)
             self._counter.retune(taken.settings.counter_timeout_ms)
         for _, link in self._links.values():
-            if isinstance(link, RespServerLink):
-                link.retune(taken.report_names, taken.connect_ms, taken.idle_ms, taken.settings.max_units)
+            if isinstance(link, RespUpstream):
+                link.retune(
+                    taken.report_names, taken.connect_ms, taken.idle_ms, taken.settings.max_request_units
+                )
         if self._diameter is not None:
             self._diameter.register.retune(taken.settings)
         self.core.retune(taken.settings)
@@ -304,11 +307,11 @@
         if taken.settings != old.settings:
             log.info("reload: new settings, classes %s", ", ".join(c.name for c in taken.settings.classes))
 
-    def _link(self, server: int) -> RespServerLink | DiameterServerLink | None:
+    def _link(self, server: int) -> RespUpstream | DiameterUpstream | None:
         found = self._links.get(server)
         return None if found is None else found[1]
 
-    def _changed(self, members: Members, hosts: dict[int, Host]) -> None:
+    def _changed(self, members: EndpointList, hosts: dict[int, Endpoint]) -> None:
         """Bring the server links in line with the list before the module hears of it."""
         most = max(int(self._config.sockets * SERVER_PART) // max(len(hosts), 1), LEAST_POOL)
         for number, (old, link) in list(self._links.items()):
@@ -324,18 +327,18 @@
             if number not in self._links:
                 self._links[number] = host, self._open_link(host, most)
             link = self._links[number][1]
-            if host.state is State.UP:
+            if host.state is EndpointState.UP:
                 link.reopen()
             else:
                 link.drain()
         self.core.members(members)
 
-    def _open_link(self, host: Host, most: int) -> RespServerLink | DiameterServerLink:
+    def _open_link(self, host: Endpoint, most: int) -> RespUpstream | DiameterUpstream:
         config, second = self._config, self._config.diameter
         lease = None if self._pools is None else self._pools.lease(host.id)
-        made: RespServerLink | DiameterServerLink
+        made: RespUpstream | DiameterUpstream
         if second is not None and host.kind in second.server_kinds:
-            made = DiameterServerLink(
+            made = DiameterUpstream(
                 host.address,
                 self._loop,
                 self._clock,
@@ -347,7 +350,7 @@
                 lease=lease,
             )
         else:
-            made = RespServerLink(
+            made = RespUpstream(
                 host.address,
                 self._loop,
                 self._clock,
@@ -355,7 +358,7 @@
                 connect_ms=config.connect_ms,
                 idle_ms=config.idle_ms,
                 most=most,
-                most_units=config.settings.max_units,
+                most_units=config.settings.max_request_units,
                 room=self._room,
                 lease=lease,
             )
@@ -400,14 +403,14 @@
 
     def pause(self) -> str:
         """Send clients away, without an end of the process."""
-        self._drained(Event.PAUSE)
+        self._drained(ShutdownEvent.PAUSE)
         return ""
 
     def resume(self) -> str:
         """Take clients again."""
         if self._drain.ending:
             return f"it is {self._drain.state.value}, and does not come back"
-        self._drained(Event.RESUME)
+        self._drained(ShutdownEvent.RESUME)
         return ""
 
     def metrics(self) -> str:
@@ -429,7 +432,7 @@
 
     # The drain's effects.
 
-    async def _part_with(self, fleet: Service) -> None:
+    async def _part_with(self, fleet: ClusterService) -> None:
         """What this gateway leads for the fleet is handed over, in a time that is bounded."""
         if self._pools is not None:
             self._pools.leave()
@@ -448,9 +451,9 @@
                     self._pools.leave()
                 self._leaving = asyncio.ensure_future(self.fleet.leave())
         self._term_at = min(self._term_at, self._loop.time())
-        self._drained(Event.TERM)
+        self._drained(ShutdownEvent.TERM)
 
-    def _drained(self, event: Event, round_: int | None = None) -> None:
+    def _drained(self, event: ShutdownEvent, round_: int | None = None) -> None:
         """Post an event to the drain and do what it says."""
         before = self._drain.state
         effects = self._drain.post(event, round_)
@@ -459,39 +462,41 @@
         for effect in effects:
             self._carry_out(effect)
 
-    def _carry_out(self, effect: Effect) -> None:
+    def _carry_out(self, effect: ShutdownEffect) -> None:
         match effect:
-            case Effect.SAY_NO | Effect.SAY_YES:
-                self._front.turning = effect is Effect.SAY_NO
+            case ShutdownEffect.SAY_NO | ShutdownEffect.SAY_YES:
+                self._front.turning = effect is ShutdownEffect.SAY_NO
                 if self._diameter is not None:
-                    self._diameter.turning = effect is Effect.SAY_NO
-            case Effect.TIME_TURN:
-                self._loop.call_later(self._config.drain_s, self._drained, Event.TURNED, self._drain.round)
-            case Effect.CLOSE_LINKS:
+                    self._diameter.turning = effect is ShutdownEffect.SAY_NO
+            case ShutdownEffect.TIME_TURN:
+                self._loop.call_later(
+                    self._config.drain_s, self._drained, ShutdownEvent.TURNED, self._drain.round
+                )
+            case ShutdownEffect.CLOSE_LINKS:
                 self._front.close_links()
                 if self._diameter is not None:
                     for peer in list(self._diameter.links):
                         peer.end()
-            case Effect.KEEP_LINKS:
+            case ShutdownEffect.KEEP_LINKS:
                 self._front.keep_links()
-            case Effect.STOP_ACCEPTING:
+            case ShutdownEffect.STOP_ACCEPTING:
                 self._front.stop()
                 if self._diameter is not None:
                     self._diameter.stop()
-            case Effect.TIME_END:
+            case ShutdownEffect.TIME_END:
                 longest_ms = max((cls.deadline_ms for cls in self._config.settings.classes), default=0.0)
                 most = min(longest_ms / 1000.0, KILL_COUNTS_S) + KILL_MARGIN_S
                 left_s = max(self._term_at + most - self._loop.time(), 0.0)
                 self._loop.call_later(left_s, self._front.refuse_rest)
                 self._loop.call_later(left_s, self._wait_no_longer)
                 self._await_end()
-            case Effect.REPORT:
+            case ShutdownEffect.REPORT:
                 log.info("ended: all answered")
                 self._hosts.stop()
                 self.core.settle()
                 wait_s = self._config.settings.counter_timeout_ms / 1000.0
                 self._loop.call_later(0.02, self._await_reports, self._loop.time() + wait_s)
-            case Effect.LEAVE:
+            case ShutdownEffect.LEAVE:
                 if self._management is not None:
                     self._management.end()
                 if self._giver is not None:
@@ -508,13 +513,13 @@
         if not self.done.is_set():
             log.warning("no time is left: %d unanswered are given up", self.core.unanswered)
             self.core.give_up()
-            self._loop.call_later(LAST_WORDS_S, self._drained, Event.LATE)
+            self._loop.call_later(LAST_WORDS_S, self._drained, ShutdownEvent.LATE)
 
     def _await_end(self) -> None:
         if self._front.links or (self._diameter is not None and self._diameter.links):
             self._loop.call_later(0.02, self._await_end)
             return
-        self._drained(Event.EMPTY)
+        self._drained(ShutdownEvent.EMPTY)
 
     def _await_reports(self, until: float) -> None:
         """The last reports have the time that any call has: closed at once, they would be cut off."""
@@ -523,4 +528,4 @@
                 self._loop.call_later(0.02, self._await_reports, until)
                 return
             self._counter.close()
-        self._loop.call_later(0.02, self._drained, Event.SETTLED)
+        self._loop.call_later(0.02, self._drained, ShutdownEvent.SETTLED)
--- a/badgeryoke/gateway/attempt.py
+++ b/badgeryoke/gateway/attempt.py
@@ -9,10 +9,10 @@
 from typing import Protocol
 
 from badgeryoke.decisions.interface import Verdict
-from badgeryoke.gateway.response_stream import Relay
+from badgeryoke.gateway.response_stream import ResponseStream
 
 
-class Stage(Enum):
+class AttemptStage(Enum):
     """How far an attempt has come."""
 
     NOT_WRITTEN = "not written"
@@ -21,11 +21,11 @@
 
 
 @dataclass(frozen=True, slots=True)
-class End:
+class AttemptEnd:
     """How an attempt ended: the verdict, how far it had come, and what the server gave."""
 
     verdict: Verdict
-    reached: Stage
+    reached: AttemptStage
     value: bytes = b""
     true_units: float = 0.0
     report: tuple[float, ...] = ()
@@ -33,7 +33,7 @@
 
 
 @dataclass(slots=True)
-class Query:
+class Request:
     """A client's request in the few values that the decisions and the server links use."""
 
     id: str
@@ -63,14 +63,14 @@
     return number
 
 
-class ServerLink(Protocol):
+class Upstream(Protocol):
     """A server, as the core sees it, whatever its wire."""
 
-    def start(self, execution: Execution) -> None:
+    def start(self, execution: Attempt) -> None:
         """Carry out an attempt; it ends by a call of the execution's own methods, never by an exception."""
 
 
-class Execution:
+class Attempt:
     """One attempt.  Its first end counts, and every later one is ignored."""
 
     __slots__ = (
@@ -93,12 +93,12 @@
 
     def __init__(
         self,
-        query: Query,
+        query: Request,
         attempt: int,
         server: int,
         started_ms: float,
         deadline_ms: float,
-        on_end: Callable[[Execution, End], None],
+        on_end: Callable[[Attempt, AttemptEnd], None],
         repeat: bool = False,
         on_written: Callable[[], None] | None = None,
         write_by_ms: float = math.inf,
@@ -110,31 +110,31 @@
         self.write_by_ms = write_by_ms if query.send_by_ms is None else min(write_by_ms, query.send_by_ms)
         self.begun = False  # its first byte may be out
         self.final = False  # no attempt will follow this one
-        self.stage = Stage.NOT_WRITTEN
+        self.stage = AttemptStage.NOT_WRITTEN
         self.on_abandon: Callable[[], None] | None = None  # set by the server link: ends the attempt there
-        self.relay: Relay | None = None  # a long value has begun, and goes on through this
-        self.on_begun: Callable[[Relay], None] | None = None
+        self.relay: ResponseStream | None = None  # a long value has begun, and goes on through this
+        self.on_begun: Callable[[ResponseStream], None] | None = None
         self._on_end, self._on_written = on_end, on_written
 
     @property
     def ended(self) -> bool:
-        return self.stage is Stage.ENDED
+        return self.stage is AttemptStage.ENDED
 
     def may_be_written(self, now_ms: float) -> bool:
         """Whether there is still a point, and no harm, in writing it."""
-        return self.stage is Stage.NOT_WRITTEN and now_ms < min(self.deadline_ms, self.write_by_ms)
+        return self.stage is AttemptStage.NOT_WRITTEN and now_ms < min(self.deadline_ms, self.write_by_ms)
 
     def written(self) -> None:
         """The last byte is out: from here on it may have run."""
-        if self.stage is Stage.NOT_WRITTEN:
-            self.begun, self.stage = True, Stage.WRITTEN
+        if self.stage is AttemptStage.NOT_WRITTEN:
+            self.begun, self.stage = True, AttemptStage.WRITTEN
             if self._on_written is not None:
                 self._on_written()
 
-    def begins(self, relay: Relay) -> None:
+    def begins(self, relay: ResponseStream) -> None:
         """The first bytes of a long value: from here on it is the client's, and is given up for nothing but
         the client's leaving."""
-        if self.stage is Stage.ENDED or self.on_begun is None:
+        if self.stage is AttemptStage.ENDED or self.on_begun is None:
             relay.leave()
             return
         self.relay = relay
@@ -149,15 +149,17 @@
 
     def turned_away(self, detail: str) -> None:
         """The server says that it never began."""
-        self._end(Verdict.FULL, detail=detail)
+        self._end(Verdict.QUEUE_FULL, detail=detail)
 
     def lost(self, detail: str) -> None:
         """The connection never came up or is gone: what that proves depends on how far the attempt came."""
-        self._end(Verdict.CONNECT_FAILED if self.stage is Stage.NOT_WRITTEN else Verdict.RESET, detail=detail)
+        self._end(
+            Verdict.CONNECT_FAILED if self.stage is AttemptStage.NOT_WRITTEN else Verdict.RESET, detail=detail
+        )
 
     def moot(self, detail: str) -> None:
         """It was not sent, and will not be."""
-        self._end(Verdict.MOOT, detail=detail)
+        self._end(Verdict.NOT_SENT, detail=detail)
 
     def abandon(self, verdict: Verdict, final: bool = False) -> None:
         """Stop waiting: cancelled or timed out.  What was never begun to be written could not connect; what
@@ -175,10 +177,10 @@
         report: tuple[float, ...] = (),
         detail: str = "",
     ) -> None:
-        if self.stage is Stage.ENDED:
+        if self.stage is AttemptStage.ENDED:
             return
-        reached, self.stage = self.stage, Stage.ENDED
-        self._on_end(self, End(verdict, reached, value, true_units, report, detail))
+        reached, self.stage = self.stage, AttemptStage.ENDED
+        self._on_end(self, AttemptEnd(verdict, reached, value, true_units, report, detail))
         if self.on_abandon is not None:
             release, self.on_abandon = self.on_abandon, None
             release()
--- a/badgeryoke/gateway/cluster/admin_calls.py
+++ b/badgeryoke/gateway/cluster/admin_calls.py
@@ -15,9 +15,9 @@
 
 import msgspec
 
-from badgeryoke.cluster.errors import BadCall, FleetError
+from badgeryoke.cluster.errors import ClusterError, InvalidCall
 from badgeryoke.cluster.state_machine.machine import REGISTRY
-from badgeryoke.cluster.state_machine.part import Applied, Command
+from badgeryoke.cluster.state_machine.part import ApplyResult, Command
 
 MOST_CALL = 64 * 1024  # bytes of a line
 MOST_ID = 128
@@ -54,17 +54,17 @@
     return {_plain(name): kind for name, kind in REGISTRY.commands.items() if name in OPERATORS}
 
 
-def read_call(raw: bytes) -> Command | BadCall | str:
+def read_call(raw: bytes) -> Command | InvalidCall | str:
     """The command, or what is wrong; STATUS for that one."""
     try:
         given: Any = msgspec.json.decode(raw)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as fault:
-        return BadCall("call", f"expected one JSON object on the line: {fault}")
+        return InvalidCall("call", f"expected one JSON object on the line: {fault}")
     if not isinstance(given, dict):
-        return BadCall("call", f"expected one JSON object on the line, got {str(given)[:64]!r}")
+        return InvalidCall("call", f"expected one JSON object on the line, got {str(given)[:64]!r}")
     word = given.pop("do", None) or given.pop("call", None)
     if not isinstance(word, str):
-        return BadCall("do", "missing: the name of a call")
+        return InvalidCall("do", "missing: the name of a call")
     plain, kinds = _plain(word), known()
     plain = ALSO.get(plain, plain)
     if plain == STATUS:
@@ -73,7 +73,7 @@
     if kind is None:
         names = [STATUS, *sorted(one.command_name() for one in kinds.values())]
         close = difflib.get_close_matches(word[:64], names, 1)
-        return BadCall(
+        return InvalidCall(
             "do",
             f"{word[:64]!r} is unknown; "
             + (f"did you mean {close[0]}?" if close else f"known are {', '.join(names)}"),
@@ -82,32 +82,32 @@
     for key in given:
         if key not in fields:
             close = difflib.get_close_matches(key[:64], fields, 1)
-            return BadCall(
+            return InvalidCall(
                 key[:64],
                 "unknown; " + (f"did you mean {close[0]}?" if close else f"known are {', '.join(fields)}"),
             )
     if kind.reads:
         given.setdefault("id", secrets.token_hex(8))
     elif "id" not in given:
-        return BadCall("id", "missing: with an id of its own the call can be made again without harm")
+        return InvalidCall("id", "missing: with an id of its own the call can be made again without harm")
     try:
         made: Command = msgspec.convert(given, kind)
     except msgspec.ValidationError as fault:
         problem, _, at = str(fault).replace("`", "").partition(" - at $")
-        return BadCall(at.lstrip(".") or "call", problem)
+        return InvalidCall(at.lstrip(".") or "call", problem)
     if not 0 < len(made.id) <= MOST_ID:
-        return BadCall("id", f"expected 1 to {MOST_ID} characters")
+        return InvalidCall("id", f"expected 1 to {MOST_ID} characters")
     if problem := made.fault():
         key, colon, what = problem.partition(": ")
-        return BadCall(key if colon else "call", what if colon else problem)
+        return InvalidCall(key if colon else "call", what if colon else problem)
     return made
 
 
-def line_of(result: Applied | FleetError) -> bytes:
+def line_of(result: ApplyResult | ClusterError) -> bytes:
     """The answer, one line."""
-    error = result if isinstance(result, FleetError) else result.error
+    error = result if isinstance(result, ClusterError) else result.error
     if error is None:
-        assert isinstance(result, Applied)
+        assert isinstance(result, ApplyResult)
         return b"+OK " + msgspec.json.encode(result.value) + b"\n"
     return (
         b"-ERR "
--- a/badgeryoke/gateway/cluster/connection_leases.py
+++ b/badgeryoke/gateway/cluster/connection_leases.py
@@ -20,14 +20,20 @@
 
 from tornado.iostream import IOStream
 
-from badgeryoke.cluster.connection_limits import CLOSING_MS, Keeper, Limit, Unlimit, process
-from badgeryoke.cluster.errors import FleetError
+from badgeryoke.cluster.connection_limits import (
+    CLOSING_MS,
+    ConnectionLeaseHolder,
+    RemoveConnectionLimit,
+    SetConnectionLimit,
+    process,
+)
+from badgeryoke.cluster.errors import ClusterError
 from badgeryoke.cluster.invariants import Invariants
-from badgeryoke.cluster.node import Node
-from badgeryoke.cluster.rolling_restart.restart import Duty, Rolled
-from badgeryoke.cluster.state_machine.part import FLEET, Applied, Command
-from badgeryoke.gateway.actor import READ_CHUNK, Turns, new_socket
-from badgeryoke.gateway.cluster.settings import Fleet
+from badgeryoke.cluster.node import ClusterNode
+from badgeryoke.cluster.rolling_restart.restart import DesiredState, RollingRestartAgent
+from badgeryoke.cluster.state_machine.part import FLEET, ApplyResult, Command
+from badgeryoke.gateway.actor import READ_CHUNK, ActorScheduler, new_socket
+from badgeryoke.gateway.cluster.settings import ClusterSettings
 
 log = logging.getLogger(__name__)
 
@@ -39,7 +45,7 @@
 BOOT = Path("/proc/sys/kernel/random/boot_id")
 
 
-class Link(Protocol):
+class LeasedUpstream(Protocol):
     """A server link.  All but `need` leave a message."""
 
     @property
@@ -53,7 +59,7 @@
         """More may be open than before."""
 
 
-class Gateway(Protocol):
+class DrainableGateway(Protocol):
     """Of the gateway, what a roll asks of it."""
 
     def pause(self) -> str: ...
@@ -74,7 +80,7 @@
 class LeasedStream(IOStream):
     """A stream whose socket is let go of, where others close it."""
 
-    def __init__(self, made: socket.socket, most_buffered: int, lease: Lease) -> None:
+    def __init__(self, made: socket.socket, most_buffered: int, lease: UpstreamLease) -> None:
         super().__init__(made, max_buffer_size=most_buffered)
         self._lease = lease
 
@@ -84,12 +90,12 @@
         self._lease.let_go(made)
 
 
-class Lease:
+class UpstreamLease:
     """One server, as its link sees it."""
 
-    def __init__(self, pools: Pools, server: str) -> None:
+    def __init__(self, pools: ConnectionLeases, server: str) -> None:
         self._pools, self.server = pools, server
-        self.link: Link | None = None
+        self.link: LeasedUpstream | None = None
         self.open = 0
         self.surplus = 0  # connections in use that are closed when they become free
         self.gone = False  # the link is no more; what it has open still counts
@@ -120,7 +126,7 @@
         self._pools.linger(self, made)
 
 
-class Pools:
+class ConnectionLeases:
     """All server links of a gateway that keeps servers' limits, and its stand in a roll.  A
     `fleet.node.Holder`.
 
@@ -128,20 +134,25 @@
     """
 
     def __init__(
-        self, fleet: Fleet, loop: Turns, now: Callable[[], float], idle_ms: float, gateway: Gateway
+        self,
+        fleet: ClusterSettings,
+        loop: ActorScheduler,
+        now: Callable[[], float],
+        idle_ms: float,
+        gateway: DrainableGateway,
     ) -> None:
         self._named, self._any = dict(fleet.servers.limits), fleet.servers.connections
         self.idle_ms, self.now = idle_ms, now
         self._loop, self._gateway, self._events = loop, gateway, asyncio.get_running_loop()
-        self._leases: dict[str, list[Lease]] = {}
+        self._leases: dict[str, list[UpstreamLease]] = {}
         self._limits = self._named
-        self._lingering: dict[socket.socket, tuple[Lease, asyncio.TimerHandle]] = {}
+        self._lingering: dict[socket.socket, tuple[UpstreamLease, asyncio.TimerHandle]] = {}
         self.alone = True  # no earlier process of this member answers clients still
         self.leaving = False  # the process is to end
         self.wake: Callable[[], None] | None = None  # the node's driver: something is due at once
-        self.keeper: Keeper | None = None
-        self.rolled: Rolled | None = None
-        self._node: Node | None = None
+        self.keeper: ConnectionLeaseHolder | None = None
+        self.rolled: RollingRestartAgent | None = None
+        self._node: ClusterNode | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._told = False  # of a list
         self._sift_at = 0.0
@@ -152,12 +163,12 @@
     def begin(self, node: object, rules: Invariants) -> None:
         """The node is there, and with it the lock on the member's folder.  One that is only driven has no
         leases."""
-        if not isinstance(node, Node):
+        if not isinstance(node, ClusterNode):
             return
         boot = BOOT.read_text().strip() if BOOT.exists() else ""
         me = process(node.me, boot, secrets.token_hex(6))
-        self.keeper = Keeper(me, node.setup.timings, rules, self.now(), self.alone)
-        self.rolled = Rolled(node.setup.me, me, len(node.setup.members), self._look_soon)
+        self.keeper = ConnectionLeaseHolder(me, node.setup.timings, rules, self.now(), self.alone)
+        self.rolled = RollingRestartAgent(node.setup.me, me, len(node.setup.members), self._look_soon)
         self._node = node
         node.limits = dict(self._limits)
         if not node.setup.capacity:
@@ -167,20 +178,20 @@
 
     # Links.
 
-    def lease(self, server: str) -> Lease | None:
+    def lease(self, server: str) -> UpstreamLease | None:
         """For a new link to a server, by discovery's name; none where no limit is kept."""
         if not self._limit(server):
             return None
-        made = Lease(self, server)
+        made = UpstreamLease(self, server)
         self._leases.setdefault(server, []).append(made)
         return made
 
-    def forget(self, lease: Lease) -> None:
+    def forget(self, lease: UpstreamLease) -> None:
         """Its link has been drained for good."""
         lease.gone = True
         self._tidy(lease)
 
-    def _tidy(self, lease: Lease) -> None:
+    def _tidy(self, lease: UpstreamLease) -> None:
         if lease.gone and not lease.open and lease in (those := self._leases.get(lease.server, [])):
             those.remove(lease)
             if not those:
@@ -198,7 +209,7 @@
 
     # Connections on their way out.
 
-    def linger(self, lease: Lease, made: socket.socket) -> None:
+    def linger(self, lease: UpstreamLease, made: socket.socket) -> None:
         """Send the end, and wait for the server's."""
         try:
             # One call: what has not come up yet is taken back, and never comes up; what has is half-closed.
@@ -223,7 +234,7 @@
             pass
         self._let_go(self._lingering[made][0], made)
 
-    def _let_go(self, lease: Lease, made: socket.socket) -> None:
+    def _let_go(self, lease: UpstreamLease, made: socket.socket) -> None:
         """The server has let go of it."""
         assert self.keeper is not None
         if (found := self._lingering.pop(made, None)) is not None:
@@ -242,7 +253,7 @@
 
     # Asking.
 
-    def _wants(self, keeper: Keeper) -> None:
+    def _wants(self, keeper: ConnectionLeaseHolder) -> None:
         for server, leases in self._leases.items():
             need = sum(one.link.need for one in leases if one.link is not None)
             if need or server in keeper.pools:
@@ -256,7 +267,7 @@
         for server in self.keeper.unknown:  # whoever leads its group has no list that names it
             if most := self._limits.get(server):
                 made.append(
-                    Limit(
+                    SetConnectionLimit(
                         id=f"limit/{self.keeper.me}/{server}/{now:.0f}",
                         server=server,
                         most=most,
@@ -286,11 +297,11 @@
                     continue
                 missing[server] = self._missing.get(server, now)
                 if now - missing[server] >= GONE_MS and len(made) < MOST_GONE:
-                    made.append(Unlimit(id=f"unlimit/{server}/{state.index}", server=server))
+                    made.append(RemoveConnectionLimit(id=f"unlimit/{server}/{state.index}", server=server))
         self._missing = missing
         return made
 
-    def answered(self, now: float, command: Command, result: Applied | FleetError) -> None:
+    def answered(self, now: float, command: Command, result: ApplyResult | ClusterError) -> None:
         """See fleet.node.Holder."""
         assert self.keeper is not None
         self.keeper.answered(now, command, result)
@@ -338,15 +349,15 @@
         )
         for duty in rolled.duties(now):
             log.info("roll %s: %s", rolled.record.get("roll"), duty.name.lower())
-            if duty is Duty.LEAVE:
+            if duty is DesiredState.LEAVE:
                 self._gateway.end()
-            elif said := self._gateway.pause() if duty is Duty.PAUSE else self._gateway.resume():
+            elif said := self._gateway.pause() if duty is DesiredState.PAUSE else self._gateway.resume():
                 log.warning("%s: %s", duty.name.lower(), said)
         if rolled.due <= now and self.wake is not None:
             self.wake()
         self._loop.run()
 
-    def _close(self, keeper: Keeper, now: float) -> None:
+    def _close(self, keeper: ConnectionLeaseHolder, now: float) -> None:
         for leases in self._leases.values():
             for lease in leases:
                 lease.surplus = 0
--- a/badgeryoke/gateway/cluster/service.py
+++ b/badgeryoke/gateway/cluster/service.py
@@ -22,44 +22,44 @@
 from tornado.netutil import bind_sockets
 
 from badgeryoke.cluster.errors import (
-    Crowded,
-    FleetError,
+    ClusterError,
     InvariantBroken,
     NoLeader,
-    StoreFailed,
+    Overloaded,
+    StorageFailed,
     UnknownOutcome,
 )
 from badgeryoke.cluster.events import (
-    Call,
-    Done,
+    ClusterCall,
     Effect,
     Entries,
     HardState,
-    Leave,
+    LeaveCluster,
+    LogEvent,
+    MessageReceived,
     NodeEvent,
-    Received,
-    Saved,
-    Say,
-    Send,
-    Store,
-    StoreBroke,
-    Stored,
+    OperationCompleted,
+    PersistedGroup,
+    PersistRecords,
+    RecordsPersisted,
+    SendMessage,
+    StorageFailure,
     Tick,
 )
 from badgeryoke.cluster.invariants import Invariants, Rule
-from badgeryoke.cluster.messages import AnyMessage, Id
-from badgeryoke.cluster.node import ANY, Member, Node, Setup
+from badgeryoke.cluster.messages import AnyMessage, MemberId
+from badgeryoke.cluster.node import ANY, ClusterNode, Member, NodeSetup
 from badgeryoke.cluster.placement.directory import forced
-from badgeryoke.cluster.reservations.lease_client import Floor
-from badgeryoke.cluster.state_machine.part import Applied, Command
+from badgeryoke.cluster.reservations.lease_client import ReservationClient
+from badgeryoke.cluster.state_machine.part import ApplyResult, Command
 from badgeryoke.gateway.cluster.admin_calls import STATUS, line_of, read_call
-from badgeryoke.gateway.cluster.settings import Fleet
-from badgeryoke.gateway.cluster.storage import HELD, Disk, StoreWriter, open_store
-from badgeryoke.gateway.cluster.transport import Links
+from badgeryoke.gateway.cluster.settings import ClusterSettings
+from badgeryoke.gateway.cluster.storage import HELD, ClusterStorage, StoreWriter, open_store
+from badgeryoke.gateway.cluster.transport import ClusterTransport
 from badgeryoke.gateway.discovery.client import split_address
 
 if TYPE_CHECKING:
-    from badgeryoke.gateway.cluster.connection_leases import Pools
+    from badgeryoke.gateway.cluster.connection_leases import ConnectionLeases
 
 log = logging.getLogger(__name__)
 
@@ -79,7 +79,7 @@
     def status(self) -> dict[str, Any]: ...
 
 
-MakeNode = Callable[[Setup, dict[str, Saved], Random, float, float, Invariants], NodeLike]
+MakeNode = Callable[[NodeSetup, dict[str, PersistedGroup], Random, float, float, Invariants], NodeLike]
 
 
 def boot_ms() -> float:
@@ -87,12 +87,12 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME) * 1000.0
 
 
-def setup_of(fleet: Fleet, name: str, incarnation: str) -> Setup:
+def setup_of(fleet: ClusterSettings, name: str, incarnation: str) -> NodeSetup:
     """What the operators' file says, as a node is told it."""
     servers = dict(fleet.servers.limits)
     if fleet.servers.connections:
         servers[ANY] = fleet.servers.connections
-    return Setup(
+    return NodeSetup(
         fleet.name,
         fleet.me or name,
         incarnation,
@@ -105,32 +105,33 @@
     )
 
 
-class Service:
+class ClusterService:
     """This gateway's share in the fleet.  `now` (ms) never steps; the wall clock is read once, at the
     start."""
 
     def __init__(
         self,
-        fleet: Fleet,
+        fleet: ClusterSettings,
         name: str,
         make: MakeNode | None = None,
         now: Callable[[], float] = boot_ms,
         unix: Callable[[], float] = time.time,
     ) -> None:
         self.fleet, self.me = fleet, fleet.me or name
-        self._make: MakeNode = make or Node
+        self._make: MakeNode = make or ClusterNode
         self._now = self.now = now
-        self.pools: Pools | None = None  # where the gateway has given its server links
-        self.floor: Floor | None = None  # this gateway's parts of contracts, from when the node is made
+        self.pools: ConnectionLeases | None = None  # where the gateway has given its server links
+        # this gateway's parts of contracts, from when the node is made
+        self.floor: ReservationClient | None = None
         # told of it, and of its clock
-        self.on_floor: Callable[[Floor, Callable[[], float]], None] | None = None
+        self.on_floor: Callable[[ReservationClient, Callable[[], float]], None] | None = None
         self._wall_less_now = unix() * 1000.0 - now()
         self._loop = asyncio.get_running_loop()
         self.rules = Invariants(strict=False, noted=self._noted)
         self.node: NodeLike | None = None
-        self.failed: FleetError | None = None  # why this member promises nothing more
-        self.store_failed: FleetError | None = None
-        self.links: Links | None = None
+        self.failed: ClusterError | None = None  # why this member promises nothing more
+        self.store_failed: ClusterError | None = None
+        self.links: ClusterTransport | None = None
         self._writer: StoreWriter | None = None
         self._calls: dict[str, asyncio.Future[Any]] = {}
         self._last_token = 0
@@ -162,9 +163,9 @@
         folder, waits = Path(self.fleet.folder), False
         while not self._ended:
             opened = await asyncio.to_thread(open_store, folder, self.fleet.name, self.me, self.fleet.fsync)
-            if isinstance(opened, Disk):
+            if isinstance(opened, ClusterStorage):
                 break
-            if not (isinstance(opened, StoreFailed) and opened.what.endswith(HELD)):
+            if not (isinstance(opened, StorageFailed) and opened.what.endswith(HELD)):
                 self._halt(opened)
                 return
             if not waits:  # the process that this one replaces, mostly
@@ -179,7 +180,7 @@
             if self.node is None and self._writer is None:
                 opened.close()
 
-    async def _open(self, opened: Disk) -> None:
+    async def _open(self, opened: ClusterStorage) -> None:
         sockets = await self._bind()
         if self._ended:
             for one in sockets:
@@ -193,7 +194,7 @@
         self._force(opened, setup.id)
         self._writer = StoreWriter(opened, self._loop.call_soon_threadsafe, self._stored, self._store_broke)
         addresses = {one.name: split_address(one.address) for one in self.fleet.members}
-        self.links = Links(
+        self.links = ClusterTransport(
             self.fleet.name,
             setup.id,
             addresses,
@@ -212,7 +213,9 @@
             holders := getattr(self.node, "holders", None), list
         ):  # a node that is only driven has none
             hall = next(one.hall for one in setup.members if one.name == setup.me)
-            self.floor = Floor(setup.id, secrets.token_hex(4), setup.timings, hall, len(setup.members))
+            self.floor = ReservationClient(
+                setup.id, secrets.token_hex(4), setup.timings, hall, len(setup.members)
+            )
             self.floor.wake = self._wake
             holders.append(self.floor)
             if self.on_floor is not None:
@@ -242,7 +245,7 @@
                 await asyncio.sleep(AGAIN_S)
         return []
 
-    def _force(self, disk: Disk, me: Id) -> None:
+    def _force(self, disk: ClusterStorage, me: MemberId) -> None:
         """[fleet.forced]: groups that have lost their majority for good go on from this copy alone."""
         for group, lost in self.fleet.forced.items():
             if (saved := disk.saved.get(group)) is None:
@@ -258,7 +261,7 @@
                 continue
             disk.write(
                 [
-                    Store(
+                    PersistRecords(
                         group,
                         0,
                         (HardState(made.term, made.vote), Entries(made.entries[len(saved.entries) :])),
@@ -276,7 +279,7 @@
 
     def _feed(self, *events: NodeEvent) -> None:
         """Hand events to the node; what it wants stored for all of them goes out together."""
-        stores: list[Store] = []
+        stores: list[PersistRecords] = []
         for event in events:
             if self.node is None or self.failed is not None or self._ended:
                 return
@@ -299,13 +302,13 @@
             self._writer.put(stores)
         self._arm()
 
-    def _carry_out(self, effect: Effect, stores: list[Store]) -> None:
-        if isinstance(effect, Send):
+    def _carry_out(self, effect: Effect, stores: list[PersistRecords]) -> None:
+        if isinstance(effect, SendMessage):
             assert self.links is not None
             self.links.send(effect.to, effect.message)
-        elif isinstance(effect, Store):
+        elif isinstance(effect, PersistRecords):
             stores.append(effect)
-        elif isinstance(effect, Done):
+        elif isinstance(effect, OperationCompleted):
             self._done(effect.token, effect.result)
         else:
             _say(effect)
@@ -331,24 +334,24 @@
             self._timer_due = 0.0
             self._timer = self._loop.call_later(0.0, self._tick)
 
-    def _received(self, sender: Id, messages: tuple[AnyMessage, ...]) -> None:
-        self._feed(*(Received(sender, message) for message in messages))
+    def _received(self, sender: MemberId, messages: tuple[AnyMessage, ...]) -> None:
+        self._feed(*(MessageReceived(sender, message) for message in messages))
 
-    def _stored(self, those: list[Stored]) -> None:
+    def _stored(self, those: list[RecordsPersisted]) -> None:
         self._feed(*those)
 
-    def _store_broke(self, error: FleetError) -> None:
+    def _store_broke(self, error: ClusterError) -> None:
         self.store_failed = error
         log.error("%s", error)
-        self._loop.call_soon(self._feed, StoreBroke(error))
+        self._loop.call_soon(self._feed, StorageFailure(error))
 
-    def _link_error(self, error: FleetError) -> None:
+    def _link_error(self, error: ClusterError) -> None:
         log.warning("link: %s", error)
 
     def _noted(self, rule: Rule, facts: str) -> None:
         log.critical("invariant broken: %s: %s: %s", rule.name, rule.value, facts)
 
-    def _halt(self, error: FleetError) -> None:
+    def _halt(self, error: ClusterError) -> None:
         """This member promises nothing more and says so; to the others it is as dead."""
         if self.failed is not None:
             return
@@ -368,25 +371,26 @@
 
     # What is asked of it.
 
-    async def call(self, command: Command) -> Applied | FleetError:
+    async def call(self, command: Command) -> ApplyResult | ClusterError:
         """Bring a command to the group that holds its key; comes back within twice `call_ms`."""
         if self.failed is not None:
             return self.failed
         if self.node is None or self._ended:
             return NoLeader(self.me, "this member is starting or ending")
         if len(self._calls) >= MOST_CALLS:
-            return Crowded(self.me, f"{MOST_CALLS} calls are under way at this member")
+            return Overloaded(self.me, f"{MOST_CALLS} calls are under way at this member")
         try:
             result: Any = await asyncio.wait_for(
-                self._ask(lambda token: Call(token, command)), self.fleet.timings.call_ms * 2.0 / 1000.0
+                self._ask(lambda token: ClusterCall(token, command)),
+                self.fleet.timings.call_ms * 2.0 / 1000.0,
             )
         except TimeoutError:
             return UnknownOutcome(command.id, "no answer in time")
         return (
             result
-            if isinstance(result, FleetError)
-            else Applied(result)
-            if not isinstance(result, Applied)
+            if isinstance(result, ClusterError)
+            else ApplyResult(result)
+            if not isinstance(result, ApplyResult)
             else result
         )
 
@@ -406,8 +410,8 @@
         if isinstance(read, Command):
             return line_of(await self.call(read))
         if read == STATUS:
-            return line_of(Applied(self.status()))
-        assert isinstance(read, FleetError)
+            return line_of(ApplyResult(self.status()))
+        assert isinstance(read, ClusterError)
         return line_of(read)
 
     def status(self) -> dict[str, Any]:
@@ -438,7 +442,7 @@
     async def _leave(self) -> None:
         if self.node is not None and self.failed is None and not self._ended:
             try:
-                await asyncio.wait_for(self._ask(Leave), LEAVE_S)
+                await asyncio.wait_for(self._ask(LeaveCluster), LEAVE_S)
             except TimeoutError:
                 log.warning("not all groups were handed over in time")
 
@@ -457,7 +461,7 @@
             self._done(token, UnknownOutcome(self.me, "this member ended meanwhile"))
 
 
-def _say(line: Say) -> None:
+def _say(line: LogEvent) -> None:
     level = logging.getLevelNamesMapping().get(line.level.upper(), logging.WARNING)
     if log.isEnabledFor(level):
         said = ", ".join(f"{key} {value}" for key, value in line.fields.items())
--- a/badgeryoke/gateway/cluster/settings.py
+++ b/badgeryoke/gateway/cluster/settings.py
@@ -35,7 +35,7 @@
     limits: dict[str, int] = msgspec.field(default_factory=dict)
 
 
-class Fleet(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class ClusterSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The whole section."""
 
     enabled: bool = False
@@ -54,10 +54,10 @@
     forced: dict[str, tuple[str, ...]] = msgspec.field(default_factory=dict)
 
 
-def read_fleet(raw: dict[str, Any]) -> tuple[Fleet | None, list[str]]:
+def read_fleet(raw: dict[str, Any]) -> tuple[ClusterSettings | None, list[str]]:
     """The section as read, and its faults, each with its key."""
     shown = {**raw, "members": []}
-    found = unknown(shown, Fleet, "fleet.") + wrong(shown, Fleet, "fleet.")
+    found = unknown(shown, ClusterSettings, "fleet.") + wrong(shown, ClusterSettings, "fleet.")
     members = raw.get("members", [])
     if isinstance(members, list) and all(isinstance(one, dict) for one in members):
         for at, one in enumerate(members):
@@ -69,13 +69,13 @@
     if found:
         return None, found
     try:
-        made = msgspec.convert(raw, Fleet)
+        made = msgspec.convert(raw, ClusterSettings)
     except msgspec.ValidationError as fault:
         return None, [f"fleet: {str(fault).replace('`', '')}"]
     return made, _faults(made)
 
 
-def _faults(made: Fleet) -> list[str]:
+def _faults(made: ClusterSettings) -> list[str]:
     """What a value of the right form has wrong."""
     found = []
     if not NAME.fullmatch(made.name):
--- a/badgeryoke/gateway/cluster/storage.py
+++ b/badgeryoke/gateway/cluster/storage.py
@@ -33,9 +33,18 @@
 
 import msgspec
 
-from badgeryoke.cluster.errors import AnotherFleet, FleetError, StoreDamaged, StoreFailed
-from badgeryoke.cluster.events import Entries, Forget, HardState, Record, Saved, Snapshot, Store, Stored
-from badgeryoke.cluster.messages import Config, Entry
+from badgeryoke.cluster.errors import ClusterError, ClusterMismatch, StorageDamaged, StorageFailed
+from badgeryoke.cluster.events import (
+    DiscardGroup,
+    Entries,
+    HardState,
+    PersistedGroup,
+    PersistRecords,
+    Record,
+    RecordsPersisted,
+    Snapshot,
+)
+from badgeryoke.cluster.messages import GroupConfiguration, LogEntry
 
 log = logging.getLogger(__name__)
 
@@ -61,7 +70,7 @@
 """
 
 
-class Damage(Exception):
+class DamagedRecord(Exception):
     """The store does not read as it was written."""
 
 
@@ -69,7 +78,7 @@
     return zlib.crc32(msgspec.msgpack.encode(fields), before)
 
 
-def _entry_sum(entry: Entry, before: int) -> int:
+def _entry_sum(entry: LogEntry, before: int) -> int:
     return zlib.crc32(entry.body, _sum(entry.index, entry.term, entry.kind, before=before))
 
 
@@ -91,15 +100,15 @@
 
 
 @dataclass(slots=True)
-class Disk:
+class ClusterStorage:
     """An open store; every call waits for the disk.  Made by `open_store`."""
 
     folder: Path
     fleet: str
     member: str
     incarnation: str
-    saved: dict[str, Saved]
-    faults: list[FleetError]  # found at the opening, for the operators
+    saved: dict[str, PersistedGroup]
+    faults: list[ClusterError]  # found at the opening, for the operators
     _db: sqlite3.Connection
     _lock: int
     _told: int
@@ -107,7 +116,7 @@
     _whole: int = 0
     _groups: dict[str, _Group] = field(default_factory=dict)
 
-    def write(self, stores: Sequence[Store]) -> None:
+    def write(self, stores: Sequence[PersistRecords]) -> None:
         """All of it in one transaction, on stable storage when this comes back.  Raises sqlite3.Error,
         OSError or Damage; nothing may be written behind that."""
         db, touched = self._db, dict[str, None]()
@@ -138,7 +147,7 @@
 
     def _take(self, name: str, record: Record) -> None:
         db = self._db
-        if isinstance(record, Forget):
+        if isinstance(record, DiscardGroup):
             gone = self._groups.pop(name, None)
             self._whole ^= gone.sum if gone is not None else 0
             for table in ("entry", "shot"):
@@ -152,7 +161,7 @@
             at = name, record.index
             found = db.execute("SELECT term, sum FROM entry WHERE grp = ? AND idx = ?", at).fetchone()
             if record.index < group.base:
-                raise Damage(f"group {name}: a snapshot to {record.index} behind one to {group.base}")
+                raise DamagedRecord(f"group {name}: a snapshot to {record.index} behind one to {group.base}")
             if found is not None and found[0] == record.term:
                 db.execute("DELETE FROM entry WHERE grp = ? AND idx <= ?", at)
                 group.base_sum = found[1]
@@ -172,10 +181,12 @@
         elif record.entries:
             self._append(name, group, record.entries)
 
-    def _append(self, name: str, group: _Group, entries: tuple[Entry, ...]) -> None:
+    def _append(self, name: str, group: _Group, entries: tuple[LogEntry, ...]) -> None:
         first = entries[0].index
         if not group.base < first <= group.last + 1:
-            raise Damage(f"group {name}: entry {first} does not join a log from {group.base} to {group.last}")
+            raise DamagedRecord(
+                f"group {name}: entry {first} does not join a log from {group.base} to {group.last}"
+            )
         if first == group.last + 1:
             chain = group.last_sum
         else:
@@ -190,7 +201,7 @@
         rows = []
         for at, entry in enumerate(entries, first):
             if entry.index != at:
-                raise Damage(f"group {name}: entry {entry.index} where {at} follows")
+                raise DamagedRecord(f"group {name}: entry {entry.index} where {at} follows")
             chain = _entry_sum(entry, chain)
             rows.append((name, at, entry.term, entry.kind, entry.body, chain))
         self._db.executemany("INSERT INTO entry VALUES (?, ?, ?, ?, ?, ?)", rows)
@@ -211,48 +222,48 @@
         db = self._db
         db.execute("BEGIN")
         if (said := db.execute("PRAGMA integrity_check(1)").fetchone()[0]) != "ok":
-            raise Damage(said.splitlines()[0])
+            raise DamagedRecord(said.splitlines()[0])
         rows = db.execute("SELECT fleet, member, incarnation, step, whole, sum FROM store").fetchall()
         if len(rows) != 1 or _sum(*rows[0][:5]) != rows[0][5]:
-            raise Damage("the store's own row does not read as written")
+            raise DamagedRecord("the store's own row does not read as written")
         self.fleet, self.member, self.incarnation, self._step, self._whole = rows[0][:5]
         whole = 0
         for name, *row in db.execute("SELECT * FROM part ORDER BY grp"):
             group = self._groups[name] = _Group(*row)
             if _sum(name, *group.row()) != group.sum:
-                raise Damage(f"group {name!r}: its row does not read as written")
+                raise DamagedRecord(f"group {name!r}: its row does not read as written")
             whole ^= group.sum
         if whole != self._whole:
-            raise Damage("a group's row is missing")
+            raise DamagedRecord("a group's row is missing")
         shots = {}
         for name, index, term, config, body in db.execute("SELECT * FROM shot ORDER BY grp"):
             owner = self._groups.get(name)
             if owner is None or owner.shot_sum != _shot_sum(index, term, config, body) or owner.base != index:
-                raise Damage(f"group {name!r}: its snapshot does not read as written")
-            shots[name] = Snapshot(index, term, msgspec.msgpack.decode(config, type=Config), body)
-        logs: dict[str, list[Entry]] = {}
+                raise DamagedRecord(f"group {name!r}: its snapshot does not read as written")
+            shots[name] = Snapshot(index, term, msgspec.msgpack.decode(config, type=GroupConfiguration), body)
+        logs: dict[str, list[LogEntry]] = {}
         chains: dict[str, int] = {}
         for name, index, term, kind, body, said_sum in db.execute("SELECT * FROM entry ORDER BY grp, idx"):
             owner = self._groups.get(name)
             if owner is None:
-                raise Damage(f"group {name!r}: entries without its row")
+                raise DamagedRecord(f"group {name!r}: entries without its row")
             kept = logs.setdefault(name, [])
-            entry = Entry(index, term, kind, body)
+            entry = LogEntry(index, term, kind, body)
             chains[name] = _entry_sum(entry, chains.get(name, owner.base_sum))
             if chains[name] != said_sum or index != owner.base + len(kept) + 1:
-                raise Damage(f"group {name!r}: entry {index} does not read as written")
+                raise DamagedRecord(f"group {name!r}: entry {index} does not read as written")
             kept.append(entry)
         for name, group in self._groups.items():
             kept = logs.get(name, [])
             if (group.base + len(kept), chains.get(name, group.base_sum)) != (group.last, group.last_sum):
-                raise Damage(
+                raise DamagedRecord(
                     f"group {name!r}: its log ends at {group.base + len(kept)}, written to {group.last}"
                 )
             if (group.base > 0) > (name in shots):
-                raise Damage(f"group {name!r}: its snapshot is missing")
-            self.saved[name] = Saved(group.term, group.vote, shots.get(name), tuple(kept))
+                raise DamagedRecord(f"group {name!r}: its snapshot is missing")
+            self.saved[name] = PersistedGroup(group.term, group.vote, shots.get(name), tuple(kept))
         if (told := _read_told(self._told)) > self._step:
-            raise Damage(f"{told} transactions were acknowledged, {self._step} are there")
+            raise DamagedRecord(f"{told} transactions were acknowledged, {self._step} are there")
         self._look_behind()
         db.execute("COMMIT")
 
@@ -273,14 +284,14 @@
             one = one + words[n] + two & 0xFFFFFFFF
             two = two + words[n + 1] + one & 0xFFFFFFFF
         if magic & ~1 != _MAGIC or (one, two) != (sum_0, sum_1):
-            raise Damage("the head of the write-ahead log does not read as written")
+            raise DamagedRecord("the head of the write-ahead log does not read as written")
         commits, at = 0, _WAL_HEAD.size + good * (page + _FRAME_HEAD.size)
         while at + _FRAME_HEAD.size <= len(wal):
             _, pages, *salt, _, _ = _FRAME_HEAD.unpack_from(wal, at)
             commits += pages > 0 and salt == salts
             at += page + _FRAME_HEAD.size
         if commits > 1:
-            raise Damage(
+            raise DamagedRecord(
                 f"{commits} transactions lie behind a part of the write-ahead log that does not read"
             )
 
@@ -297,7 +308,7 @@
 def _read_told(held: int) -> int:
     raw = os.pread(held, _TOLD.size, 0)
     if len(raw) != _TOLD.size or zlib.crc32(raw[:8]) != _TOLD.unpack(raw)[1]:
-        raise Damage("the count of acknowledged transactions does not read as written")
+        raise DamagedRecord("the count of acknowledged transactions does not read as written")
     return int(_TOLD.unpack(raw)[0])
 
 
@@ -363,7 +374,7 @@
     member: str,
     fsync: bool = True,
     fresh: Callable[[], str] = lambda: secrets.token_hex(4),
-) -> Disk | FleetError:
+) -> ClusterStorage | ClusterError:
     """The member's store, made where there is none, and made anew beside a damaged one (`Disk.faults` says
     so).
 
@@ -373,13 +384,13 @@
         folder.mkdir(0o700, parents=True, exist_ok=True)
         lock = os.open(folder / LOCK, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
     except OSError as fault:
-        return StoreFailed(member, f"{folder}: {fault.strerror}")
+        return StorageFailed(member, f"{folder}: {fault.strerror}")
     try:
         fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
     except OSError:
         os.close(lock)
-        return StoreFailed(member, f"{folder}: {HELD}")
-    faults: list[FleetError] = []
+        return StorageFailed(member, f"{folder}: {HELD}")
+    faults: list[ClusterError] = []
     try:
         for _ in range(2):
             made = _open(folder, fleet, member, fsync, fresh, lock, faults)
@@ -387,11 +398,11 @@
                 break
     except (OSError, sqlite3.Error) as fault:
         os.close(lock)
-        return StoreFailed(member, f"{folder}: {fault}")
-    if isinstance(made, FleetError):
+        return StorageFailed(member, f"{folder}: {fault}")
+    if isinstance(made, ClusterError):
         os.close(lock)
     return (
-        made if made is not None else StoreFailed(member, f"{folder}: a new store does not read as written")
+        made if made is not None else StorageFailed(member, f"{folder}: a new store does not read as written")
     )
 
 
@@ -402,26 +413,32 @@
     fsync: bool,
     fresh: Callable[[], str],
     lock: int,
-    faults: list[FleetError],
-) -> Disk | FleetError | None:
+    faults: list[ClusterError],
+) -> ClusterStorage | ClusterError | None:
     """None: it was damaged and lies aside now."""
     path = folder / NAME
     if others := sorted(one.name for one in folder.glob("store-*.db") if one.name != NAME):
-        return StoreFailed(member, f"{folder}: holds {others[0]}, this program knows {NAME}")
+        return StorageFailed(member, f"{folder}: holds {others[0]}, this program knows {NAME}")
     if not path.exists():
-        with contextlib.suppress(FileNotFoundError, Damage), (folder / TOLD).open("rb") as left:
+        with contextlib.suppress(FileNotFoundError, DamagedRecord), (folder / TOLD).open("rb") as left:
             if (told := _read_told(left.fileno())) > 0:
                 faults.append(
-                    StoreDamaged(member, f"{path} is gone, {told} transactions were acknowledged in it")
+                    StorageDamaged(member, f"{path} is gone, {told} transactions were acknowledged in it")
                 )
         _create(folder, fleet, member, fresh())
     held = os.open(folder / TOLD, os.O_RDWR | os.O_CREAT, 0o600)
     db: sqlite3.Connection | None = None
     try:
         db = _connect(path, fsync)
-        disk = Disk(folder, fleet, member, "", {}, faults, db, lock, held)
+        disk = ClusterStorage(folder, fleet, member, "", {}, faults, db, lock, held)
         disk._load()
-    except (Damage, sqlite3.DatabaseError, msgspec.DecodeError, UnicodeDecodeError, TypeError) as fault:
+    except (
+        DamagedRecord,
+        sqlite3.DatabaseError,
+        msgspec.DecodeError,
+        UnicodeDecodeError,
+        TypeError,
+    ) as fault:
         if isinstance(fault, sqlite3.OperationalError) and _of_the_disk(fault):
             if db is not None:
                 db.close()
@@ -432,12 +449,12 @@
             with contextlib.suppress(sqlite3.Error):
                 db.close()
         os.close(held)
-        faults.append(StoreDamaged(member, f"{fault}; kept in {aside}"))
+        faults.append(StorageDamaged(member, f"{fault}; kept in {aside}"))
         return None
     if (disk.fleet, disk.member) != (fleet, member):
         db.close()
         os.close(held)
-        return AnotherFleet(member, f"{folder} belongs to member {disk.member!r} of fleet {disk.fleet!r}")
+        return ClusterMismatch(member, f"{folder} belongs to member {disk.member!r} of fleet {disk.fleet!r}")
     return disk
 
 
@@ -457,22 +474,22 @@
 
     def __init__(
         self,
-        disk: Disk,
+        disk: ClusterStorage,
         call_soon_threadsafe: Callable[..., object],
-        stored: Callable[[list[Stored]], None],
-        broke: Callable[[FleetError], None],
+        stored: Callable[[list[RecordsPersisted]], None],
+        broke: Callable[[ClusterError], None],
     ) -> None:
         self._disk, self._post, self._stored, self._broke = disk, call_soon_threadsafe, stored, broke
-        self._waiting: deque[Store] = deque()
+        self._waiting: deque[PersistRecords] = deque()
         self._bytes = 0
         self._busy = self._ended = False
-        self.failed: FleetError | None = None
+        self.failed: ClusterError | None = None
         self.transactions = self.records = 0
-        self._batches: queue.SimpleQueue[list[Store] | None] = queue.SimpleQueue()
+        self._batches: queue.SimpleQueue[list[PersistRecords] | None] = queue.SimpleQueue()
         self._thread = threading.Thread(target=self._work, name="fleet-store", daemon=True)
         self._thread.start()
 
-    def put(self, stores: Sequence[Store]) -> None:
+    def put(self, stores: Sequence[PersistRecords]) -> None:
         """Ask; Stored follows for each, unless the store breaks."""
         if self.failed is not None or self._ended or not stores:
             return
@@ -480,7 +497,7 @@
         self._bytes += sum(map(_weight, stores))
         if self._bytes > MOST_WAITING:
             self._fail(
-                StoreFailed(self._disk.member, f"{self._bytes} bytes wait for a disk that does not keep up")
+                StorageFailed(self._disk.member, f"{self._bytes} bytes wait for a disk that does not keep up")
             )
         else:
             self._next()
@@ -505,19 +522,19 @@
             if fault is not None:
                 break
 
-    def _written(self, batch: list[Store], fault: Exception | None) -> None:
+    def _written(self, batch: list[PersistRecords], fault: Exception | None) -> None:
         self._busy = False
         if fault is not None:
-            self._fail(StoreFailed(self._disk.member, f"{self._disk.folder}: {fault}"))
+            self._fail(StorageFailed(self._disk.member, f"{self._disk.folder}: {fault}"))
         if self.failed is not None:
             return
         self._bytes -= sum(map(_weight, batch))
         self.transactions += 1
         self.records += sum(len(one.records) for one in batch)
         self._next()  # the disk works on while the answers are handled
-        self._stored([Stored(one.group, one.seq) for one in batch])
+        self._stored([RecordsPersisted(one.group, one.seq) for one in batch])
 
-    def _fail(self, error: FleetError) -> None:
+    def _fail(self, error: ClusterError) -> None:
         if self.failed is None:
             self.failed = error
             self._waiting.clear()
@@ -537,7 +554,7 @@
             self._disk.close()
 
 
-def _weight(one: Store) -> int:
+def _weight(one: PersistRecords) -> int:
     """Bytes, about."""
     return 64 + sum(map(_bodies, one.records))
 
--- a/badgeryoke/gateway/cluster/transport.py
+++ b/badgeryoke/gateway/cluster/transport.py
@@ -31,20 +31,20 @@
 import msgspec
 from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
 
-from badgeryoke.cluster.errors import AnotherFleet, BadFrame, FleetError, StaleIncarnation
+from badgeryoke.cluster.errors import BadFrame, ClusterError, ClusterMismatch, StaleIncarnation
 from badgeryoke.cluster.messages import (
     VERSION,
     Ack,
     AnyMessage,
-    Append,
-    Ask,
+    AppendEntries,
     Envelope,
-    Id,
+    MemberId,
     Nack,
     Ping,
-    PingFor,
-    Vote,
-    name_of,
+    PingRequest,
+    RequestVote,
+    RequestVoteReply,
+    member_name,
 )
 from badgeryoke.gateway.actor import dial
 
@@ -54,7 +54,7 @@
 HEAD = 1024  # bytes of an envelope beside its messages, at the most
 MOST_TOLD, MOST_OLD = 256, 16  # errors remembered as told; incarnations of one member remembered as gone
 TOLD_AGAIN_S = 600.0
-_LIGHT = (Ping, Ack, PingFor, Nack, Ask, Vote)
+_LIGHT = (Ping, Ack, PingRequest, Nack, RequestVote, RequestVoteReply)
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Envelope)
 
@@ -93,20 +93,20 @@
     return len(body).to_bytes(4, "big") + body
 
 
-def read(body: bytes, fleet: str, whom: str) -> Envelope | FleetError:
+def read(body: bytes, fleet: str, whom: str) -> Envelope | ClusterError:
     """The reverse, checked as far as any envelope can be."""
     try:
         head = _head.decode(body)
         if head.version != VERSION:
             return BadFrame(whom, f"version {head.version}, this one speaks {VERSION}")
         if head.fleet != fleet:
-            return AnotherFleet(whom, f"it belongs to fleet {head.fleet[:64]!r}, this one to {fleet!r}")
+            return ClusterMismatch(whom, f"it belongs to fleet {head.fleet[:64]!r}, this one to {fleet!r}")
         return _decoder.decode(body)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as fault:
         return BadFrame(whom, str(fault).replace("`", "")[:200])
 
 
-async def _next_frame(stream: IOStream, most: int, fleet: str, whom: str) -> Envelope | FleetError:
+async def _next_frame(stream: IOStream, most: int, fleet: str, whom: str) -> Envelope | ClusterError:
     """Raises StreamClosedError where the connection ends."""
     size = int.from_bytes(await stream.read_bytes(4), "big")
     if not 0 < size <= most:
@@ -118,13 +118,13 @@
 class _Waiting:
     """One message on its way out; `body` empty: it has gone."""
 
-    to: Id
+    to: MemberId
     body: bytes
     light: bool
 
 
 @dataclass(slots=True)
-class Peer:
+class PeerLink:
     """What waits for one member, and how its connection stands."""
 
     name: str
@@ -135,7 +135,7 @@
     size: int = 0
     lost: int = 0  # dropped here: at a bound, or with a connection
     sent: int = 0
-    incarnation: Id = ""  # as it last said
+    incarnation: MemberId = ""  # as it last said
     up: bool = False
     asked: float | None = None  # when a word was asked for that has not come; the loop's clock, as below
     ask_at: float = 0.0
@@ -147,7 +147,7 @@
     back: asyncio.Event = field(default_factory=asyncio.Event)  # it has dialled: the pause is over
     task: asyncio.Task[None] | None = None
 
-    def add(self, to: Id, body: bytes, light: bool, bounds: Bounds) -> None:
+    def add(self, to: MemberId, body: bytes, light: bool, bounds: Bounds) -> None:
         """Queue one; at a bound the oldest light one goes, else the oldest."""
         one = _Waiting(to, body, light)
         self.queue.append(one)
@@ -173,7 +173,7 @@
         self.lost += 1
         one.body = b""
 
-    def batch(self, bounds: Bounds) -> tuple[Id, list[msgspec.Raw]]:
+    def batch(self, bounds: Bounds) -> tuple[MemberId, list[msgspec.Raw]]:
         """The next messages to one Id, as many as a frame holds."""
         to, bodies, size = "", list[msgspec.Raw](), HEAD
         while self.queue and len(bodies) < bounds.most_batch:
@@ -199,7 +199,7 @@
         self.lights.clear()
 
 
-class Links:
+class ClusterTransport:
     """All links of one member.
 
     `receive` is told the sender's Id and the messages of one frame; `tell` each error once.  Members are
@@ -209,21 +209,23 @@
     def __init__(
         self,
         fleet: str,
-        me: Id,
+        me: MemberId,
         members: Mapping[str, tuple[str, int]],
-        receive: Callable[[Id, tuple[AnyMessage, ...]], None],
-        tell: Callable[[FleetError], None],
+        receive: Callable[[MemberId, tuple[AnyMessage, ...]], None],
+        tell: Callable[[ClusterError], None],
         draw: Random,
         bounds: Bounds | None = None,
     ) -> None:
         self.fleet, self.me, self.bounds = fleet, me, bounds or Bounds()
         self._receive, self._tell, self._draw = receive, tell, draw
-        self.peers = {name: Peer(name, address) for name, address in members.items() if name != name_of(me)}
+        self.peers = {
+            name: PeerLink(name, address) for name, address in members.items() if name != member_name(me)
+        }
         self._listening: list[socket.socket] = []
         self._inbound: dict[IOStream, str] = {}  # the member's name, empty before its hello; oldest first
         self._tasks: set[asyncio.Task[None]] = set()
-        self._latest: dict[str, Id] = {}  # of each member, as it last said hello here
-        self._gone: dict[str, deque[Id]] = {}
+        self._latest: dict[str, MemberId] = {}  # of each member, as it last said hello here
+        self._gone: dict[str, deque[MemberId]] = {}
         self._told: dict[tuple[str, str], float] = {}
         self._ended = False
         self.received = 0
@@ -293,17 +295,17 @@
             first = await asyncio.wait_for(
                 _next_frame(stream, bounds.most_frame, self.fleet, whom), bounds.hello_s
             )
-            if isinstance(error := self._greeted(stream, first, whom), FleetError):
+            if isinstance(error := self._greeted(stream, first, whom), ClusterError):
                 self._error(error)
             # Also to a stranger: it learns who is here, and its operator what is wrong.
             await asyncio.wait_for(stream.write(self._hello()), bounds.stall_s)
-            if isinstance(error, FleetError):
+            if isinstance(error, ClusterError):
                 return
             sender = error
             while not isinstance(
-                taken := await _next_frame(stream, bounds.most_frame, self.fleet, sender), FleetError
+                taken := await _next_frame(stream, bounds.most_frame, self.fleet, sender), ClusterError
             ):
-                if isinstance(wrong := self._misdirected(taken, sender), FleetError):
+                if isinstance(wrong := self._misdirected(taken, sender), ClusterError):
                     self._error(wrong)
                     return
                 if len(taken.messages) > bounds.most_batch:
@@ -321,16 +323,18 @@
             self._inbound.pop(stream, None)
             stream.close()
 
-    def _greeted(self, stream: IOStream, first: Envelope | FleetError, whom: str) -> Id | FleetError:
+    def _greeted(
+        self, stream: IOStream, first: Envelope | ClusterError, whom: str
+    ) -> MemberId | ClusterError:
         """Who has dialled, or why it is turned away."""
-        if isinstance(first, FleetError):
+        if isinstance(first, ClusterError):
             return first
-        name = name_of(first.sender)
+        name = member_name(first.sender)
         if name not in self.peers or "/" not in first.sender or len(first.sender) > 128:
-            return AnotherFleet(whom, f"{first.sender[:64]!r} is no other member of this fleet")
+            return ClusterMismatch(whom, f"{first.sender[:64]!r} is no other member of this fleet")
         if first.messages:
             return BadFrame(first.sender, "messages before the hello was answered")
-        if isinstance(wrong := self._misdirected(first, first.sender), FleetError):
+        if isinstance(wrong := self._misdirected(first, first.sender), ClusterError):
             return wrong
         latest, gone = self._latest.get(name), self._gone.setdefault(name, deque(maxlen=MOST_OLD))
         if first.sender in gone:
@@ -349,20 +353,20 @@
             peer.back.set()
         return first.sender
 
-    def _misdirected(self, envelope: Envelope, sender: Id) -> FleetError | None:
+    def _misdirected(self, envelope: Envelope, sender: MemberId) -> ClusterError | None:
         if envelope.sender != sender:
             return BadFrame(sender, f"a frame of {envelope.sender[:64]!r} on its link")
-        if envelope.to and name_of(envelope.to) != name_of(self.me):
-            return AnotherFleet(sender, f"it looks for {envelope.to[:64]!r} here, this is {self.me}")
-        if envelope.to not in ("", self.me, name_of(self.me), name_of(self.me) + "/"):
+        if envelope.to and member_name(envelope.to) != member_name(self.me):
+            return ClusterMismatch(sender, f"it looks for {envelope.to[:64]!r} here, this is {self.me}")
+        if envelope.to not in ("", self.me, member_name(self.me), member_name(self.me) + "/"):
             return StaleIncarnation(sender, f"it asks for {envelope.to[:64]!r}, this is {self.me}")
         return None
 
     # What goes out.
 
-    def send(self, to: Id, message: AnyMessage) -> None:
+    def send(self, to: MemberId, message: AnyMessage) -> None:
         """Queue a message; all of one turn of the loop go in one frame."""
-        peer = self.peers.get(name_of(to))
+        peer = self.peers.get(member_name(to))
         if peer is None or self._ended:
             return
         body = _encoder.encode(message)
@@ -374,12 +378,12 @@
                 )
             )
             return
-        light = isinstance(message, _LIGHT) or (isinstance(message, Append) and not message.entries)
+        light = isinstance(message, _LIGHT) or (isinstance(message, AppendEntries) and not message.entries)
         peer.add(to, body, light, self.bounds)
         if peer.task is None:
             peer.task = self._run(self._speak(peer))
 
-    async def _speak(self, peer: Peer, greet: bool = False) -> None:
+    async def _speak(self, peer: PeerLink, greet: bool = False) -> None:
         """Dial while there is something to say, and once in any case with `greet`.  What waited when that
         failed is lost: it is old by the time the peer is back, and whoever is above says it anew."""
         bounds, loop = self.bounds, asyncio.get_running_loop()
@@ -401,7 +405,7 @@
         finally:
             peer.task = None
 
-    async def _converse(self, peer: Peer) -> bool:
+    async def _converse(self, peer: PeerLink) -> bool:
         """One connection, to its end; gives whether it ended for want of anything to say."""
         bounds = self.bounds
         stream, connecting = dial(peer.address, bounds.most_frame + 65536)
@@ -416,9 +420,9 @@
             said = await asyncio.wait_for(
                 _next_frame(stream, bounds.most_frame, self.fleet, peer.name), bounds.hello_s
             )
-            if not isinstance(said, FleetError) and name_of(said.sender) != peer.name:
-                said = AnotherFleet(peer.name, f"{said.sender[:64]!r} answers at its address")
-            if isinstance(said, FleetError):
+            if not isinstance(said, ClusterError) and member_name(said.sender) != peer.name:
+                said = ClusterMismatch(peer.name, f"{said.sender[:64]!r} answers at its address")
+            if isinstance(said, ClusterError):
                 self._error(said)
                 return False
             peer.up, peer.incarnation, peer.asked, peer.ask_at = True, said.sender, None, 0.0
@@ -433,7 +437,7 @@
                 listening.cancel()
             stream.close()
 
-    async def _pour(self, peer: Peer, stream: IOStream) -> bool:
+    async def _pour(self, peer: PeerLink, stream: IOStream) -> bool:
         bounds, loop = self.bounds, asyncio.get_running_loop()
         while not stream.closed():
             to, bodies = peer.batch(bounds)
@@ -463,10 +467,12 @@
             peer.spoke = loop.time()
         return False
 
-    async def _listen_to(self, peer: Peer, stream: IOStream) -> None:
+    async def _listen_to(self, peer: PeerLink, stream: IOStream) -> None:
         """The words of the acceptor, and the connection's end."""
         with contextlib.suppress(StreamClosedError, StreamBufferFullError):
-            while not isinstance(said := await _next_frame(stream, HEAD, self.fleet, peer.name), FleetError):
+            while not isinstance(
+                said := await _next_frame(stream, HEAD, self.fleet, peer.name), ClusterError
+            ):
                 peer.asked = None
             self._error(said)
         stream.close()
@@ -496,9 +502,9 @@
     def _hello(self, to: str = "") -> bytes:
         return frame(Envelope(VERSION, self.fleet, self.me, to, ()))
 
-    def _error(self, error: FleetError) -> None:
+    def _error(self, error: ClusterError) -> None:
         """Tell of it, unless it was told lately."""
-        key, now = (name_of(error.whom), error.code), asyncio.get_running_loop().time()
+        key, now = (member_name(error.whom), error.code), asyncio.get_running_loop().time()
         if key in self._told and now - self._told[key] < TOLD_AGAIN_S:
             return
         if len(self._told) >= MOST_TOLD:
--- a/badgeryoke/gateway/config/platform_file.py
+++ b/badgeryoke/gateway/config/platform_file.py
@@ -14,10 +14,10 @@
 
 import ujson
 
-from badgeryoke.decisions.interface import Effect, Settings
+from badgeryoke.decisions.interface import Idempotency, Settings
 from badgeryoke.decisions.settings_parser import Reader, settings_from, unknown
 from badgeryoke.gateway.config.operators_file import NAME, Operators, OperatorsError, read_operators
-from badgeryoke.gateway.discovery.client import Roster, read_roster, split_address
+from badgeryoke.gateway.discovery.client import EndpointSnapshot, read_endpoint_snapshot, split_address
 
 log = logging.getLogger(__name__)
 
@@ -89,7 +89,7 @@
     seed: int
     sockets: int
     memory_mb: float
-    known: Roster | None
+    known: EndpointSnapshot | None
     settings: Settings
     report_names: tuple[str, ...]  # the load report's fields as the wire names them
     connect_ms: float
@@ -184,7 +184,7 @@
     known = None
     if raw.get("known") is not None:
         try:
-            known = read_roster(raw["known"])
+            known = read_endpoint_snapshot(raw["known"])
         except ValueError as fault:
             raise ConfigError(f"known.{fault}") from None
     try:
@@ -269,13 +269,13 @@
         plans[int(key)] = plan
     chosen: dict[str, str | None] = {"check": None, "debit": None}
     for key, value in _table(f"{name}: classes", raw.get("classes", {})).items():
-        effect = Effect.SAFE if key == "check" else Effect.KEYED
+        effect = Idempotency.IDEMPOTENT if key == "check" else Idempotency.WITH_KEY
         if (
             key not in chosen
             or not isinstance(value, str)
             or (
                 settings.classes
-                and all((cls.name, cls.effect) != (value, effect) for cls in settings.classes)
+                and all((cls.name, cls.idempotency) != (value, effect) for cls in settings.classes)
             )
         ):
             raise ConfigError(
--- a/badgeryoke/gateway/diameter/client_connection.py
+++ b/badgeryoke/gateway/diameter/client_connection.py
@@ -10,16 +10,16 @@
 from tornado.iostream import IOStream
 from tornado.tcpserver import TCPServer
 
-from badgeryoke.decisions.interface import Effect, Settings
-from badgeryoke.gateway.actor import Actor, Turns
-from badgeryoke.gateway.attempt import Query, customer_number
+from badgeryoke.decisions.interface import Idempotency, Settings
+from badgeryoke.gateway.actor import Actor, ActorScheduler
+from badgeryoke.gateway.attempt import Request, customer_number
 from badgeryoke.gateway.config.platform_file import DiameterConfig
 from badgeryoke.gateway.diameter import codec
 from badgeryoke.gateway.diameter.codec import Avp, Code, Fault, Message, Result
-from badgeryoke.gateway.diameter.duplicate_requests import Entry, Repeats
-from badgeryoke.gateway.diameter.duplicate_requests import Identity as RequestIdentity
-from badgeryoke.gateway.diameter.peer import Identity, Peer
-from badgeryoke.gateway.dispatcher import Answer, Core, Failed, Refused, Served
+from badgeryoke.gateway.diameter.duplicate_requests import DuplicateRequests, Entry
+from badgeryoke.gateway.diameter.duplicate_requests import RequestIdentity as RequestIdentity
+from badgeryoke.gateway.diameter.peer import Peer, PeerIdentity
+from badgeryoke.gateway.dispatcher import Dispatcher, Failed, Rejected, Response, Served
 
 log = logging.getLogger(__name__)
 
@@ -69,7 +69,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Request:
+class CreditControlRequest:
     """A CCR in the values used."""
 
     identity: RequestIdentity
@@ -110,7 +110,7 @@
     return _invalid(avp, "unknown subscriber", Result.USER_UNKNOWN)
 
 
-def read_request(message: Message, avps: list[Avp]) -> Request | Fault:
+def read_request(message: Message, avps: list[Avp]) -> CreditControlRequest | Fault:
     """Check a CCR and read it."""
     seen: dict[int, Avp] = {}
     for avp in avps:
@@ -169,7 +169,7 @@
     if isinstance(body, Fault):
         return body
     event = numbers.get(Code.EVENT_TIMESTAMP)
-    return Request(
+    return CreditControlRequest(
         RequestIdentity(texts[1], message.end_to_end, texts[0], numbers[Code.CC_REQUEST_NUMBER]),
         numbers[Code.REQUESTED_ACTION],
         customer,
@@ -184,31 +184,40 @@
     """Remembers across all connections what was asked, and puts it to the core once."""
 
     def __init__(
-        self, config: DiameterConfig, settings: Settings, core: Core, loop: Turns, clock: Callable[[], float]
+        self,
+        config: DiameterConfig,
+        settings: Settings,
+        core: Dispatcher,
+        loop: ActorScheduler,
+        clock: Callable[[], float],
     ) -> None:
         super().__init__(loop)
         self._config, self._core, self._clock = config, core, clock
-        self._repeats = Repeats(config.answers_kept_s, loop.time)
+        self._repeats = DuplicateRequests(config.answers_kept_s, loop.time)
         self.retune(settings)
 
     def retune(self, settings: Settings) -> None:
         """The classes and the fleet's size, by new settings."""
-        self._gateways = settings.gateways
+        self._gateways = settings.gateway_count
         self._safe, self._keyed = (
-            next((c for c in settings.classes if c.effect is effect and name in (None, c.name)), None)
+            next((c for c in settings.classes if c.idempotency is effect and name in (None, c.name)), None)
             for effect, name in (
-                (Effect.SAFE, self._config.check_class),
-                (Effect.KEYED, self._config.debit_class),
+                (Idempotency.IDEMPOTENT, self._config.check_class),
+                (Idempotency.WITH_KEY, self._config.debit_class),
             )
         )
 
-    def ask(self, request: Request, repeated: bool, give: Callable[[Answer | Fault], None]) -> None:
+    def ask(
+        self, request: CreditControlRequest, repeated: bool, give: Callable[[Response | Fault], None]
+    ) -> None:
         """Give the answer of a request, asked now, running already, or known; or what is wrong with it."""
         self.post(self._ask, request, repeated, give)
 
-    def _ask(self, request: Request, repeated: bool, give: Callable[[Answer | Fault], None]) -> None:
+    def _ask(
+        self, request: CreditControlRequest, repeated: bool, give: Callable[[Response | Fault], None]
+    ) -> None:
         found = self._repeats.find(request.identity)
-        if found is Repeats.MIXED:
+        if found is DuplicateRequests.MIXED:
             give(Fault(Result.UNABLE_TO_COMPLY, "identifiers of two requests: nothing was sent"))
         elif isinstance(found, Entry):
             if found.answer is not None:
@@ -218,26 +227,26 @@
         elif isinstance(query := self._query(request, repeated), Fault):
             give(query)
         elif (entry := self._repeats.begin(request.identity)) is None:
-            give(Refused(FULL_RETRY_MS))
+            give(Rejected(FULL_RETRY_MS))
         else:
             entry.waiting.append(give)
             # The client's connection may end before the answer: it will ask again over another, so the core
             # is never told that it left.
             self._core.submit(query, lambda answer: self.post(self._answered, entry, query, answer))
 
-    def _answered(self, entry: Entry, query: Query, answer: Answer) -> None:
+    def _answered(self, entry: Entry, query: Request, answer: Response) -> None:
         """Store an answer, unless nothing ran: then a repeat is as good as new.
 
         A refusal behind an attempt that may have run is harmless only while servers know its key.  A Diameter
         client would take TOO_BUSY for never begun, and may come back at any time: it is told that it failed.
         """
-        if isinstance(answer, Refused) and answer.may_have_run and query.key:
+        if isinstance(answer, Rejected) and answer.may_have_run and query.key:
             answer = Failed("may have run")
-        if isinstance(answer, Refused) and query.send_by_ms is not None:
+        if isinstance(answer, Rejected) and query.send_by_ms is not None:
             answer = Failed("the first try may have run")
-        self._repeats.end(entry, answer, keep=bool(query.key) and not isinstance(answer, Refused))
+        self._repeats.end(entry, answer, keep=bool(query.key) and not isinstance(answer, Rejected))
 
-    def _query(self, request: Request, repeated: bool) -> Query | Fault:
+    def _query(self, request: CreditControlRequest, repeated: bool) -> Request | Fault:
         """The core's query; a fault for what may not be sent."""
         debit = request.action == codec.DIRECT_DEBITING
         cls = self._keyed if debit else self._safe
@@ -253,13 +262,13 @@
             # Only a server that still knows the key can drop it.  An event's time is in whole seconds, cut
             # off, so the first try is at least as young as it says.
             began = None if request.event_time_s is None else request.event_time_s * 1000.0
-            send_by = None if began is None else began + cls.window_ms
+            send_by = None if began is None else began + cls.deduplication_window_ms
             if began is None or send_by is None or not began <= self._clock() < send_by:
                 return Fault(
                     Result.UNABLE_TO_COMPLY,
                     "the first try may have run, and is not known here: nothing was sent on",
                 )
-        query = Query(
+        query = Request(
             id=f"{random.getrandbits(64):016x}",
             cls=cls.name,
             plan=plan,
@@ -277,23 +286,23 @@
         return query
 
 
-class DiameterFront(TCPServer):
+class DiameterListener(TCPServer):
     """Accepts Diameter clients."""
 
     def __init__(
         self,
         config: DiameterConfig,
         settings: Settings,
-        me: Identity,
-        core: Core,
-        loop: Turns,
+        me: PeerIdentity,
+        core: Dispatcher,
+        loop: ActorScheduler,
         clock: Callable[[], float],
         most: int,
     ) -> None:
         super().__init__(max_buffer_size=4 * codec.MAX_MESSAGE)
         self.config, self.me, self.loop = config, me, loop
         self.register = Register(config, settings, core, loop, clock)
-        self.links: dict[DiameterClientLink, None] = {}
+        self.links: dict[DiameterClientConnection, None] = {}
         self._most = most
         self.turning = False  # peers are sent away
 
@@ -307,18 +316,18 @@
             return
         stream.set_nodelay(True)
         stream.max_write_buffer_size = 8 * codec.MAX_MESSAGE
-        link = DiameterClientLink(stream, self)
+        link = DiameterClientConnection(stream, self)
         self.links[link] = None
         await link.read()
 
-    def closed(self, link: DiameterClientLink) -> None:
+    def closed(self, link: DiameterClientConnection) -> None:
         self.links.pop(link, None)
 
 
-class DiameterClientLink(Peer):
+class DiameterClientConnection(Peer):
     """One connection of a Diameter client."""
 
-    def __init__(self, stream: IOStream, front: DiameterFront) -> None:
+    def __init__(self, stream: IOStream, front: DiameterListener) -> None:
         super().__init__(stream, front.me, front.loop, front.config.watchdog_s)
         self._front = front
         self._out_count = 0
@@ -342,7 +351,7 @@
             self.reply_fault(message, request, session, extra)
         elif self._out_count >= MOST_OUT:
             self._out_count += 1  # given back with the answer
-            self._answered(message, request, session, extra, Refused(FULL_RETRY_MS))
+            self._answered(message, request, session, extra, Rejected(FULL_RETRY_MS))
         else:
             asked = request
             self._out_count += 1
@@ -364,10 +373,10 @@
     def _answered(
         self,
         message: Message,
-        request: Request,
+        request: CreditControlRequest,
         session: Avp | None,
         extra: list[Avp],
-        answer: Answer | Fault,
+        answer: Response | Fault,
     ) -> None:
         self._out_count -= 1
         if self.stream.closed():
@@ -389,7 +398,7 @@
                 if value:
                     avps.append(codec.value_avp(value))
                 self.reply(message, Result.SUCCESS, [*avps, *extra], session)
-            case Refused(retry_after_ms=wait):
+            case Rejected(retry_after_ms=wait):
                 self.reply_fault(
                     message, Fault(Result.TOO_BUSY, f"retry after {max(round(wait), 1)} ms"), session, extra
                 )
--- a/badgeryoke/gateway/diameter/duplicate_requests.py
+++ b/badgeryoke/gateway/diameter/duplicate_requests.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from badgeryoke.gateway.dispatcher import Answer, Served
+from badgeryoke.gateway.dispatcher import Response, Served
 
 # What is remembered at most; where none of it may be forgotten yet, new requests are refused.
 MOST = 50_000
@@ -15,7 +15,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Identity:
+class RequestIdentity:
     """What a client repeats unchanged: RFC 6733's Origin-Host and End-to-End Id, RFC 8506's Session-Id and
     CC-Request-Number."""
 
@@ -35,16 +35,16 @@
 class Entry:
     """One request: running, with those who wait for its answer, or answered."""
 
-    identity: Identity
-    waiting: list[Callable[[Answer], None]] = field(default_factory=list)
-    answer: Answer | None = None
+    identity: RequestIdentity
+    waiting: list[Callable[[Response], None]] = field(default_factory=list)
+    answer: Response | None = None
 
 
 class _Mixed:
     """Stands for two different requests."""
 
 
-class Repeats:
+class DuplicateRequests:
     """The requests of the last minutes, found by either half of their identity."""
 
     MIXED = _Mixed()
@@ -56,7 +56,7 @@
         self._ended: deque[tuple[float, Entry]] = deque()
         self._bytes = 0  # of the values kept
 
-    def find(self, identity: Identity) -> Entry | _Mixed | None:
+    def find(self, identity: RequestIdentity) -> Entry | _Mixed | None:
         """The request that this one repeats; None for a new one; MIXED where the halves do not agree, as when
         a client gives one CC-Request-Number to two requests."""
         self._forget()
@@ -66,7 +66,7 @@
             return None
         return by_host if by_host is by_session and by_host is not None else self.MIXED
 
-    def begin(self, identity: Identity) -> Entry | None:
+    def begin(self, identity: RequestIdentity) -> Entry | None:
         """Remember a new request; None where there is no room."""
         if len(self._by_host) >= self._most or self._bytes >= MOST_BYTES:
             return None
@@ -75,7 +75,7 @@
         self._by_session[identity.origin_host, identity.session, identity.number] = entry
         return entry
 
-    def end(self, entry: Entry, answer: Answer, keep: bool) -> None:
+    def end(self, entry: Entry, answer: Response, keep: bool) -> None:
         """Keep the answer for those who repeat it, or forget a request that never ran."""
         entry.answer = answer
         waiting, entry.waiting = entry.waiting, []
@@ -100,5 +100,5 @@
         self._by_session.pop((identity.origin_host, identity.session, identity.number), None)
 
 
-def _size(answer: Answer | None) -> int:
+def _size(answer: Response | None) -> int:
     return len(answer.value) if isinstance(answer, Served) else 0
--- a/badgeryoke/gateway/diameter/peer.py
+++ b/badgeryoke/gateway/diameter/peer.py
@@ -9,7 +9,7 @@
 
 from tornado.iostream import IOStream, StreamClosedError
 
-from badgeryoke.gateway.actor import Actor, Turns, on_close, pump
+from badgeryoke.gateway.actor import Actor, ActorScheduler, on_close, pump
 from badgeryoke.gateway.diameter import codec
 from badgeryoke.gateway.diameter.codec import Avp, Code, Command, Fault, Message, Result
 
@@ -21,7 +21,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Identity:
+class PeerIdentity:
     """Who this gateway is."""
 
     host: str
@@ -30,7 +30,7 @@
     state_id: int
 
 
-class State(Enum):
+class PeerState(Enum):
     WAIT_EXCHANGE = "wait for CER or CEA"
     OPEN = "open"
     CLOSING = "wait for DPA"
@@ -42,10 +42,10 @@
 
     expects_request = True  # the other side opened the connection, and sends the CER
 
-    def __init__(self, stream: IOStream, me: Identity, loop: Turns, watchdog_s: float) -> None:
+    def __init__(self, stream: IOStream, me: PeerIdentity, loop: ActorScheduler, watchdog_s: float) -> None:
         super().__init__(loop)
         self.stream, self.me = stream, me
-        self.state = State.WAIT_EXCHANGE
+        self.state = PeerState.WAIT_EXCHANGE
         self.host = ""  # the other side's Origin-Host
         self.heard_at = loop.time()
         self._framer = codec.Framer()
@@ -151,7 +151,7 @@
         if self._framer.fault is not None and not self._ending:
             fault, head = self._framer.fault
             log.warning("peer %s: %s, connection closed", self.host or "?", fault.text)
-            if head.is_request and self.state is State.OPEN:
+            if head.is_request and self.state is PeerState.OPEN:
                 self.reply_fault(head, fault)
             self._ending = True
 
@@ -159,7 +159,7 @@
         avps = codec.read_avps(message.body)
         if message.is_request and message.flags & codec.ERROR:
             self.reply_fault(message, Fault(Result.INVALID_HDR_BITS, "E bit in a request"))
-        elif self.state is State.WAIT_EXCHANGE:
+        elif self.state is PeerState.WAIT_EXCHANGE:
             if (message.command, message.is_request) != (Command.CAPABILITIES_EXCHANGE, self.expects_request):
                 log.warning("peer sent command %d before the capabilities exchange", message.command)
                 self._ending = True
@@ -181,7 +181,7 @@
             self.reply(message, Result.SUCCESS, [codec.u32(Code.ORIGIN_STATE_ID, self.me.state_id)])
         elif message.command == Command.DISCONNECT_PEER:
             self.reply(message, Result.SUCCESS, [])
-            self.state, self._ending = State.CLOSING, True
+            self.state, self._ending = PeerState.CLOSING, True
         elif message.command == Command.CAPABILITIES_EXCHANGE:
             self.reply_fault(message, Fault(Result.UNABLE_TO_COMPLY, "capabilities were exchanged"))
         else:
@@ -215,7 +215,7 @@
         self.host = host
         if message.is_request:
             self.send(message.answer([codec.u32(Code.RESULT_CODE, Result.SUCCESS), *self.capabilities()]))
-        self.state = State.OPEN
+        self.state = PeerState.OPEN
         self._arm()
         self.opened()
 
@@ -227,7 +227,7 @@
 
     def _watch(self) -> None:
         """Nothing heard for the watchdog's time: ask; nothing after that either: the peer is gone."""
-        if self.state is not State.OPEN:
+        if self.state is not PeerState.OPEN:
             return
         if self._loop.time() - self.heard_at < self._watchdog_s - WATCHDOG_JITTER_S:
             self._asked = False
@@ -243,24 +243,24 @@
         self._arm()
 
     def _exchange_late(self) -> None:
-        if self.state is State.WAIT_EXCHANGE:
+        if self.state is PeerState.WAIT_EXCHANGE:
             self.stream.close()
 
     def disconnect(self, cause: int) -> None:
         """DPR: close when the other side has agreed, or after a while."""
-        if self.state is not State.OPEN:
+        if self.state is not PeerState.OPEN:
             self._ending = True
             return
-        self.state = State.CLOSING
+        self.state = PeerState.CLOSING
         self.request(Command.DISCONNECT_PEER, [*self.base(), codec.u32(Code.DISCONNECT_CAUSE, cause)])
         self._loop.call_later(EXCHANGE_S, self.stream.close)
 
     def _gone(self) -> None:
-        if self.state is State.CLOSED:
+        if self.state is PeerState.CLOSED:
             return
         if self._framer.cut:
             log.warning("peer %s: connection ended inside a message", self.host or "?")
-        self.state = State.CLOSED
+        self.state = PeerState.CLOSED
         self.gone()
 
 
--- a/badgeryoke/gateway/diameter/upstream_connection.py
+++ b/badgeryoke/gateway/diameter/upstream_connection.py
@@ -10,14 +10,14 @@
 
 from tornado.iostream import IOStream, StreamClosedError
 
-from badgeryoke.gateway.actor import Actor, Turns, dial
-from badgeryoke.gateway.attempt import Execution, Query
+from badgeryoke.gateway.actor import Actor, ActorScheduler, dial
+from badgeryoke.gateway.attempt import Attempt, Request
 from badgeryoke.gateway.diameter import codec
 from badgeryoke.gateway.diameter.codec import Avp, Code, Command, Fault, Message, Result
-from badgeryoke.gateway.diameter.peer import Identity, Peer, State
+from badgeryoke.gateway.diameter.peer import Peer, PeerIdentity, PeerState
 
 if TYPE_CHECKING:
-    from badgeryoke.gateway.cluster.connection_leases import Lease
+    from badgeryoke.gateway.cluster.connection_leases import UpstreamLease
 
 log = logging.getLogger(__name__)
 
@@ -26,7 +26,7 @@
 MOST_OUT = 1024  # attempts of one connection
 
 
-def session_of(query: Query, realm: str) -> tuple[str, int]:
+def session_of(query: Request, realm: str) -> tuple[str, int]:
     """Session-Id and End-to-End Id.  Of a keyed query they derive from its key alone, so that a server knows
     the repeat that another gateway sends."""
     mark = query.key or query.id
@@ -35,7 +35,7 @@
 
 
 def encode(
-    query: Query, me: Identity, safe: bool, service: int | None, hop_by_hop: int, repeat: bool
+    query: Request, me: PeerIdentity, safe: bool, service: int | None, hop_by_hop: int, repeat: bool
 ) -> bytes:
     """The CCR of an event."""
     session, end_to_end = session_of(query, me.realm)
@@ -68,7 +68,7 @@
     ).encode()
 
 
-def settle(execution: Execution, avps: list[Avp] | Fault) -> str | None:
+def settle(execution: Attempt, avps: list[Avp] | Fault) -> str | None:
     """End an attempt by its CCA; the result says what was malformed.
 
     A server that is too busy never began, so the query may go elsewhere; any other failure may have run.
@@ -101,11 +101,13 @@
 
     expects_request = False
 
-    def __init__(self, stream: IOStream, owner: DiameterServerLink, loop: Turns, watchdog_s: float) -> None:
+    def __init__(
+        self, stream: IOStream, owner: DiameterUpstream, loop: ActorScheduler, watchdog_s: float
+    ) -> None:
         super().__init__(stream, owner.me, loop, watchdog_s)
         self._owner = owner
-        self.out: dict[int, Execution] = {}
-        self._unwritten: list[Execution] = []  # gathered in this turn
+        self.out: dict[int, Attempt] = {}
+        self._unwritten: list[Attempt] = []  # gathered in this turn
         self.used_at = loop.time()
 
     def opened(self) -> None:
@@ -119,9 +121,9 @@
             execution.lost(str(self.stream.error or "connection ended"))
         self._owner.post(self._owner.closed, self)
 
-    def write(self, execution: Execution) -> None:
+    def write(self, execution: Attempt) -> None:
         now = self._owner.clock()
-        if self.state is not State.OPEN or self.stream.closed():
+        if self.state is not PeerState.OPEN or self.stream.closed():
             execution.lost("connection ended")
             return
         if not execution.may_be_written(now):
@@ -152,7 +154,7 @@
         if stuck:
             self._loop.call_later(0.0, self.deliver, self._look, batch[-1])
 
-    def _look(self, last: Execution) -> None:
+    def _look(self, last: Attempt) -> None:
         """Written whole once nothing waits in the stream; a break before that proves that it never ran."""
         if self.stream.closed():
             return
@@ -161,7 +163,7 @@
         else:
             last.written()
 
-    def _abandoned(self, number: int, execution: Execution) -> None:
+    def _abandoned(self, number: int, execution: Attempt) -> None:
         """Credit control has no way to take a request back.  Where the query has its final answer, a late CCA
         is ignored; where another attempt may follow, only closing the connection ends this one."""
         if self.out.get(number) is not execution:
@@ -186,25 +188,25 @@
     def part(self) -> None:
         """Leave a server that drains or is gone, once it owes nothing: the watchdog would hold the connection
         for good."""
-        if self._owner.draining and not self.out and self.state is State.OPEN:
+        if self._owner.draining and not self.out and self.state is PeerState.OPEN:
             self.disconnect(codec.DO_NOT_WANT_TO_TALK_TO_YOU)
 
 
-class DiameterServerLink(Actor):
+class DiameterUpstream(Actor):
     """One Diameter server: connected when first needed, and again when needed after a loss."""
 
     def __init__(
         self,
         address: tuple[str, int],
-        loop: Turns,
+        loop: ActorScheduler,
         clock: Callable[[], float],
         *,
-        me: Identity,
+        me: PeerIdentity,
         services: dict[str, int],
         connect_ms: float,
         idle_ms: float,
         watchdog_s: float,
-        lease: Lease | None = None,
+        lease: UpstreamLease | None = None,
     ) -> None:
         super().__init__(loop)
         self.lease = lease  # where the fleet keeps the server's limit
@@ -213,19 +215,19 @@
         self._connect_ms, self._watchdog_s = connect_ms, watchdog_s
         self._idle_s = idle_ms * IDLE_PART / 1000.0
         self._connection: _Connection | None = None
-        self._waiting: list[Execution] = []
+        self._waiting: list[Attempt] = []
         self.draining = False
         self._complained = False
 
-    def start(self, execution: Execution) -> None:
+    def start(self, execution: Attempt) -> None:
         self.post(self._start, execution)
 
-    def _start(self, execution: Execution) -> None:
+    def _start(self, execution: Attempt) -> None:
         if self.draining:
             execution.lost("server is gone")
         elif (
             self._connection is not None
-            and self._connection.state is State.OPEN
+            and self._connection.state is PeerState.OPEN
             and (self.lease is None or self.lease.held())
         ):
             self._connection.post(self._connection.write, execution)
@@ -279,7 +281,7 @@
         for execution in waiting:
             execution.lost(str(connection.stream.error or "no connection"))
 
-    def _unmet(self, execution: Execution) -> None:
+    def _unmet(self, execution: Attempt) -> None:
         if execution in self._waiting:
             self._waiting.remove(execution)
             execution.lost("no connection in time")
@@ -317,7 +319,7 @@
         connection = self._connection
         if (
             connection is not None
-            and connection.state is State.OPEN
+            and connection.state is PeerState.OPEN
             and not connection.out
             and self._loop.time() - connection.used_at > self._idle_s
         ):
--- a/badgeryoke/gateway/discovery/client.py
+++ b/badgeryoke/gateway/discovery/client.py
@@ -22,8 +22,8 @@
 import ujson
 from tornado.iostream import IOStream, StreamClosedError
 
-from badgeryoke.decisions.interface import Members, Scope, Server, State
-from badgeryoke.gateway.actor import READ_CHUNK, Actor, Turns, dial
+from badgeryoke.decisions.interface import EndpointList, EndpointState, ListScope, Server
+from badgeryoke.gateway.actor import READ_CHUNK, Actor, ActorScheduler, dial
 
 log = logging.getLogger(__name__)
 T = TypeVar("T")
@@ -63,11 +63,11 @@
 MAX_READ = (
     2 * MAX_BODY
 )  # with the sizes of chunks and what follows the last: no read waits where more lies ready
-STATES = {"active": State.UP, "leaving": State.DRAINING, "left": State.GONE}
+STATES = {"active": EndpointState.UP, "leaving": EndpointState.DRAINING, "left": EndpointState.GONE}
 
 
 @dataclass(frozen=True, slots=True)
-class Host:
+class Endpoint:
     """One server as discovery names it."""
 
     id: str
@@ -75,18 +75,18 @@
     zone: str
     kind: str
     cell: int
-    state: State
+    state: EndpointState
     size: float
     started_ms: float
 
 
 @dataclass(frozen=True, slots=True)
-class Roster:
+class EndpointSnapshot:
     """A list from discovery, whole or as changes."""
 
     version: int
     full: bool
-    hosts: tuple[Host, ...]
+    hosts: tuple[Endpoint, ...]
 
 
 def split_address(text: str) -> tuple[str, int]:
@@ -114,7 +114,7 @@
     return float(value)
 
 
-def read_roster(raw: Any) -> Roster:
+def read_endpoint_snapshot(raw: Any) -> EndpointSnapshot:
     """Read a list, as parsed from its JSON, into the few values used; raises ValueError naming the key."""
     if not isinstance(raw, dict) or not isinstance(raw.get("servers"), list):
         raise ValueError("servers: expected a list")
@@ -131,7 +131,7 @@
         except ValueError as fault:
             raise ValueError(f"servers: addr: {fault}") from None
         hosts.append(
-            Host(
+            Endpoint(
                 entry["id"],
                 address,
                 str(entry.get("zone", "")),
@@ -142,10 +142,10 @@
                 _number(entry, "started_ms", 0),
             )
         )
-    return Roster(int(_number(raw, "version", 0)), raw.get("full") is True, tuple(hosts))
+    return EndpointSnapshot(int(_number(raw, "version", 0)), raw.get("full") is True, tuple(hosts))
 
 
-class Response:
+class HttpResponse:
     """An HTTP/1.1 response, read piece by piece by httptools (llhttp), within MAX_HEAD and MAX_BODY bytes."""
 
     def __init__(self) -> None:
@@ -217,15 +217,15 @@
     return future.result()
 
 
-class HostGroup(Actor):
+class DiscoveryClient(Actor):
     """Keeps the list, and tells of each change: the module's members, and who is at which address."""
 
     def __init__(
         self,
         address: tuple[str, int],
-        known: Roster | None,
-        loop: Turns,
-        changed: Callable[[Members, dict[int, Host]], None],
+        known: EndpointSnapshot | None,
+        loop: ActorScheduler,
+        changed: Callable[[EndpointList, dict[int, Endpoint]], None],
         gateways: int,
         draw: Callable[[], float],
     ) -> None:
@@ -238,7 +238,7 @@
         self.retune(gateways)
         self._numbers: dict[str, int] = {}  # the module's ids are numbers
         self._last = 0
-        self._hosts: dict[int, Host] = {}
+        self._hosts: dict[int, Endpoint] = {}
         self._version: int | None = None
         self._stream: IOStream | None = None
         self._complaint = ""
@@ -257,7 +257,7 @@
         """Discovery has not answered, or not with a list."""
         if self._known is not None and self._known.hosts and not self.ready:
             log.warning("discovery has not answered: going by the list known at the start")
-            self._take(self._known, Scope.WARM_COPY)
+            self._take(self._known, ListScope.CACHED)
 
     def _listless(self) -> None:
         if not self.ready:
@@ -297,11 +297,11 @@
         if self._stream is not None:
             self._stream.close()
 
-    def _take(self, roster: Roster, scope: Scope) -> None:
-        self._version = roster.version if scope is not Scope.WARM_COPY else None
+    def _take(self, roster: EndpointSnapshot, scope: ListScope) -> None:
+        self._version = roster.version if scope is not ListScope.CACHED else None
         servers = []
-        whole = scope is not Scope.CHANGES
-        hosts: dict[int, Host] = {} if whole else dict(self._hosts)
+        whole = scope is not ListScope.CHANGES
+        hosts: dict[int, Endpoint] = {} if whole else dict(self._hosts)
         for host in roster.hosts:
             number = self._numbers.get(host.id)
             if number is None:
@@ -311,12 +311,12 @@
             servers.append(
                 Server(number, host.zone, host.kind, host.cell, host.state, host.size, host.started_ms)
             )
-        self._hosts = {n: host for n, host in hosts.items() if host.state is not State.GONE}
+        self._hosts = {n: host for n, host in hosts.items() if host.state is not EndpointState.GONE}
         if len(self._numbers) > 64 + 4 * len(self._hosts):  # forget the names of what is long gone
             self._numbers = {name: n for name, n in self._numbers.items() if n in self._hosts}
         if whole or servers:
             self.ready = self.listed = True
-            self._changed(Members(scope, tuple(servers)), dict(self._hosts))
+            self._changed(EndpointList(scope, tuple(servers)), dict(self._hosts))
 
     async def _watch(self) -> None:
         """Call, take in the answer, call again at once; connect anew after a fault."""
@@ -383,7 +383,7 @@
             keep, begun = response.keep, self._loop.time()
             if self._stopped or address != self._address:
                 return  # it has moved meanwhile: a list from there must not undo what the new one told
-            roster = read_roster(ujson.loads(bytes(response.body)))
+            roster = read_endpoint_snapshot(ujson.loads(bytes(response.body)))
             if not roster.full:
                 if self._version is None:
                     raise ValueError("changes where the whole list was asked for")
@@ -395,15 +395,15 @@
             if self._complaint:
                 self._complaint = ""
                 log.info("discovery answers again, version %d", roster.version)
-            self._take(roster, Scope.FULL if roster.full else Scope.CHANGES)
+            self._take(roster, ListScope.FULL if roster.full else ListScope.CHANGES)
 
-    async def _ask(self, stream: IOStream, call: bytes, begun: float, wait_s: float) -> Response:
+    async def _ask(self, stream: IOStream, call: bytes, begun: float, wait_s: float) -> HttpResponse:
         """One call, which may wait so long for its answer.
 
         A head that comes early, or a 1xx, says nothing of when the rest will come; after the wait each piece
         has SILENT_S to come in, as long as the whole is in time."""
         due, last = self._loop.time() + wait_s + SILENT_S, begun + wait_s + WHOLE_S
-        response, whole = Response(), False
+        response, whole = HttpResponse(), False
         await _within(SILENT_S, stream.write(call))
         while not whole:
             until = min(max(due, self._loop.time() + SILENT_S), last) if response.begun else min(due, last)
--- a/badgeryoke/gateway/graceful_shutdown.py
+++ b/badgeryoke/gateway/graceful_shutdown.py
@@ -8,7 +8,7 @@
 from enum import Enum
 
 
-class State(Enum):
+class ShutdownState(Enum):
     """How far the gateway is from serving."""
 
     SERVING = "serving"
@@ -21,7 +21,7 @@
     ENDED = "ended"
 
 
-class Event(Enum):
+class ShutdownEvent(Enum):
     """What happens to it."""
 
     PAUSE = "pause"
@@ -34,7 +34,7 @@
     SETTLED = "the last units are reported"
 
 
-class Effect(Enum):
+class ShutdownEffect(Enum):
     """What the gateway does about it."""
 
     SAY_NO = "PING says no"
@@ -48,9 +48,9 @@
     LEAVE = "the process ends"
 
 
-S, E, F = State, Event, Effect
+S, E, F = ShutdownState, ShutdownEvent, ShutdownEffect
 # What is not listed changes nothing: a repeated PAUSE, a RESUME of what was not drained, a late timer.
-TRANSITIONS: dict[tuple[State, Event], tuple[State, tuple[Effect, ...]]] = {
+TRANSITIONS: dict[tuple[ShutdownState, ShutdownEvent], tuple[ShutdownState, tuple[ShutdownEffect, ...]]] = {
     (S.SERVING, E.PAUSE): (S.TURNING, (F.SAY_NO, F.TIME_TURN)),
     (S.TURNING, E.TURNED): (S.PAUSED, (F.CLOSE_LINKS,)),
     (S.TURNING, E.RESUME): (S.SERVING, (F.SAY_YES,)),
@@ -72,24 +72,24 @@
 ENDING = frozenset({S.LEAVING, S.YIELDING, S.CLOSING, S.SETTLING, S.ENDED})
 
 
-class Drain:
+class GracefulShutdown:
     """Where the gateway stands."""
 
     def __init__(self) -> None:
-        self.state = State.SERVING
+        self.state = ShutdownState.SERVING
         self.round = 0  # moves with each change of state: a timer of an earlier round does nothing
 
     @property
     def drained(self) -> bool:
         """Whether clients are sent away, by whatever cause."""
-        return self.state is not State.SERVING
+        return self.state is not ShutdownState.SERVING
 
     @property
     def ending(self) -> bool:
         """Whether there is no way back."""
         return self.state in ENDING
 
-    def post(self, event: Event, round_: int | None = None) -> tuple[Effect, ...]:
+    def post(self, event: ShutdownEvent, round_: int | None = None) -> tuple[ShutdownEffect, ...]:
         """Take in an event; gives the effects, none where it changes nothing or its round is over."""
         if round_ is not None and round_ != self.round:
             return ()
--- a/badgeryoke/gateway/hot_restart/transfer.py
+++ b/badgeryoke/gateway/hot_restart/transfer.py
@@ -25,10 +25,10 @@
 class Predecessor(Protocol):
     """What the listening side needs of its gateway."""
 
-    def give(self) -> state_snapshot.Handed | str:
+    def give(self) -> state_snapshot.StateSnapshot | str:
         """The state, or why it is not given."""
 
-    def succeeded(self, handed: state_snapshot.Handed) -> None:
+    def succeeded(self, handed: state_snapshot.StateSnapshot) -> None:
         """The other process serves."""
 
 
@@ -51,7 +51,7 @@
         os.close(folder)
 
 
-class Giver:
+class SnapshotSender:
     """Listens for a successor."""
 
     def __init__(self, path: Path, gateway: Predecessor) -> None:
@@ -113,14 +113,14 @@
             self._held.close()
 
 
-class Taker:
+class SnapshotReceiver:
     """Asks the old process."""
 
     def __init__(self, path: Path) -> None:
         self._path = path
         self._writer: asyncio.StreamWriter | None = None
 
-    async def ask(self) -> state_snapshot.Handed | None:
+    async def ask(self) -> state_snapshot.StateSnapshot | None:
         """The state, or None where there is none to be had; logs why, unless nobody was there before."""
         try:
             with _short(self._path) as short:
--- a/badgeryoke/gateway/metrics.py
+++ b/badgeryoke/gateway/metrics.py
@@ -7,7 +7,7 @@
 COMPLETED, REJECTED, FAILED = range(3)  # how a query ended: served, refused, failed
 
 
-class Figures:
+class Metrics:
     """The counts.  The core keeps them, each where the event happens."""
 
     def __init__(self, classes: Iterable[str]) -> None:
--- a/badgeryoke/gateway/quota_counter/client.py
+++ b/badgeryoke/gateway/quota_counter/client.py
@@ -12,9 +12,9 @@
 
 from tornado.iostream import IOStream, StreamClosedError
 
-from badgeryoke.decisions.interface import Total, Verdict
-from badgeryoke.gateway.actor import Actor, Turns, dial, on_close, pump
-from badgeryoke.gateway.resp.codec import ErrorReply, Parser, Value, command
+from badgeryoke.decisions.interface import CounterReply, Verdict
+from badgeryoke.gateway.actor import Actor, ActorScheduler, dial, on_close, pump
+from badgeryoke.gateway.resp.codec import ErrorReply, RespParser, Value, command
 
 log = logging.getLogger(__name__)
 
@@ -30,9 +30,10 @@
 class _Call:
     __slots__ = ("at", "data", "done", "name")
 
-    def __init__(self, name: int, data: bytes, at: float, done: Callable[[Total], None]) -> None:
+    def __init__(self, name: int, data: bytes, at: float, done: Callable[[CounterReply], None]) -> None:
         self.name, self.data, self.at = name, data, at
-        self.done: Callable[[Total], None] | None = done  # None: its time is up, its answer is only matched
+        # None: its time is up, its answer is only matched
+        self.done: Callable[[CounterReply], None] | None = done
 
 
 def encode(name: int, units: float, life_ms: float) -> bytes:
@@ -53,17 +54,17 @@
 class _Connection:
     """One connection and the calls given to it, oldest first.  Only its link touches it."""
 
-    def __init__(self, owner: CounterLink, address: tuple[str, int]) -> None:
+    def __init__(self, owner: QuotaCounterClient, address: tuple[str, int]) -> None:
         self.address = address
         self.calls: deque[_Call] = deque()  # given to the stream: some of them may be out
-        self.parser = Parser(max_items=1, max_depth=1, max_line=256)
+        self.parser = RespParser(max_items=1, max_depth=1, max_line=256)
         self.up = self.of_use = False  # connected; has brought an answer
         self.heard = self.opened_at = 0.0
         self.stream, coming_up = dial(address, 256 * 1024)
         on_close(self.stream, lambda: owner.post(owner.closed, self))
         self._task = asyncio.ensure_future(self._live(owner, coming_up))
 
-    async def _live(self, owner: CounterLink, coming_up: asyncio.Future[IOStream]) -> None:
+    async def _live(self, owner: QuotaCounterClient, coming_up: asyncio.Future[IOStream]) -> None:
         try:
             await coming_up
         except (StreamClosedError, OSError):
@@ -89,12 +90,12 @@
             return True
 
 
-class CounterLink(Actor):
+class QuotaCounterClient(Actor):
     """Owns the connections: the one that calls are written to, and one on its way up where that is lost or
     the counter has moved.  A call made while there is neither fails at once, and nothing was added."""
 
     def __init__(
-        self, address: tuple[str, int], timeout_ms: float, loop: Turns, clock: Callable[[], float]
+        self, address: tuple[str, int], timeout_ms: float, loop: ActorScheduler, clock: Callable[[], float]
     ) -> None:
         super().__init__(loop)
         self._address, self._timeout_ms, self._clock = address, max(timeout_ms, 1.0), clock
@@ -129,7 +130,7 @@
         """A new time-out, for calls that are out as well: their answers come in the same order."""
         self._timeout_ms = max(timeout_ms, 1.0)
 
-    def add(self, name: int, units: float, life_ms: float, done: Callable[[Total], None]) -> None:
+    def add(self, name: int, units: float, life_ms: float, done: Callable[[CounterReply], None]) -> None:
         """Make one call; done is called once, no later than the time-out."""
         self.post(self._add, _Call(name, encode(name, units, life_ms), self._clock(), done))
 
@@ -137,7 +138,7 @@
         if self._used is None and self._coming is None:
             self._finish(call, Verdict.CONNECT_FAILED)
         elif len(self._unwritten) + sum(len(one.calls) for one in self._all) >= MOST_CALLS:
-            self._finish(call, Verdict.FULL)
+            self._finish(call, Verdict.QUEUE_FULL)
         else:
             self._unwritten.append(call)
             self._timed.append(call)
@@ -161,7 +162,7 @@
     def _finish(self, call: _Call, verdict: Verdict, total: float = 0.0) -> None:
         if call.done is not None:
             done, call.done = call.done, None
-            done(Total(call.name, verdict, self._clock() - call.at, total))
+            done(CounterReply(call.name, verdict, self._clock() - call.at, total))
 
     def _watch(self) -> None:
         """One timer for all: the time-out is the same for each, so the oldest is due first."""
@@ -269,7 +270,7 @@
                 connection.of_use, self._back_off = True, BACK_OFF_S[0]
                 if not value.startswith(b"BUSY"):
                     self._fault(f"error {bytes(value[:80])!r}")
-                self._finish(call, Verdict.FULL)
+                self._finish(call, Verdict.QUEUE_FULL)
             else:
                 self._finish(call, Verdict.TIMEOUT)
                 self._spoilt(connection, "answer is no total")
--- a/badgeryoke/gateway/reserved_admission.py
+++ b/badgeryoke/gateway/reserved_admission.py
@@ -11,9 +11,9 @@
 from collections.abc import Callable, Mapping
 from typing import Any, Protocol
 
-from badgeryoke.cluster.reservations.lease_client import WAIT_MS, Reserved
-from badgeryoke.gateway.actor import Turns
-from badgeryoke.gateway.attempt import Query
+from badgeryoke.cluster.reservations.lease_client import WAIT_MS, ReservedUnits
+from badgeryoke.gateway.actor import ActorScheduler
+from badgeryoke.gateway.attempt import Request
 from badgeryoke.gateway.dispatcher import LATE
 
 log = logging.getLogger(__name__)
@@ -24,7 +24,7 @@
 )  # of its time a query must have left to wait: the longest wait, and as much to be served in
 
 
-class Floor(Protocol):
+class ReservationLeases(Protocol):
     """This gateway's stakes (`badgeryoke.cluster.reservations.lease_client.Floor`); times are ms of the
     fleet's clock here."""
 
@@ -32,34 +32,38 @@
     def stakes(self) -> Mapping[str, object]:
         """By contract; none: no call is worth its time."""
 
-    def take(self, now: float, customer: int, units: float) -> Reserved | None: ...
+    def take(self, now: float, customer: int, units: float) -> ReservedUnits | None: ...
 
     def wait(self, now: float, customer: int, units: float, token: Any) -> bool: ...
 
-    def turns(self, now: float) -> list[tuple[Any, Reserved | None]]: ...
+    def turns(self, now: float) -> list[tuple[Any, ReservedUnits | None]]: ...
 
-    def failed(self, now: float, reserved: Reserved, cause: str) -> None: ...
+    def failed(self, now: float, reserved: ReservedUnits, cause: str) -> None: ...
 
 
-class Drawn(Protocol):
+class ReservedRequest(Protocol):
     """A query as the core keeps it."""
 
-    query: Query
-    reserved: Reserved | None
+    query: Request
+    reserved: ReservedUnits | None
     cause: str  # why it was not served, if it is not; set from the moment at which `reserved` is
 
 
-class Guarantee:
+class ReservedAdmission:
     """Between the core and the stakes.  `ask`: the core's, for a query that has waited."""
 
     def __init__(
-        self, floor: Floor, now: Callable[[], float], loop: Turns, ask: Callable[[Any], None]
+        self,
+        floor: ReservationLeases,
+        now: Callable[[], float],
+        loop: ActorScheduler,
+        ask: Callable[[Any], None],
     ) -> None:
         self._floor, self._now, self._loop, self._ask = floor, now, loop, ask
         self._waiting = 0
         self.faults = 0
 
-    def draw(self, run: Drawn) -> bool:
+    def draw(self, run: ReservedRequest) -> bool:
         """Draw a query's units; False where there is no contract, or no room now."""
         if not self._floor.stakes:
             return False
@@ -70,7 +74,7 @@
             self._fault()
         return run.reserved is not None
 
-    def waits(self, run: Drawn, left_ms: float) -> bool:
+    def waits(self, run: ReservedRequest, left_ms: float) -> bool:
         """Whether a query that found no room waits its turn; the core's `ask` is called when that has
         come."""
         if left_ms < PATIENT_MS or not self._floor.stakes:
@@ -87,7 +91,7 @@
         return True
 
     def _look(self) -> None:
-        turns: list[tuple[Any, Reserved | None]] = []
+        turns: list[tuple[Any, ReservedUnits | None]] = []
         try:
             turns = self._floor.turns(self._now())
         except Exception:
@@ -106,7 +110,7 @@
         if self.faults == 1 or self.faults % 1000 == 0:
             log.exception("fault %d of this gateway's contracts", self.faults)
 
-    def unserved(self, reserved: Reserved, cause: str) -> None:
+    def unserved(self, reserved: ReservedUnits, cause: str) -> None:
         """What was drawn has its final answer, and no server served it."""
         try:
             self._floor.failed(self._now(), reserved, cause)
--- a/badgeryoke/gateway/resp/client_connection.py
+++ b/badgeryoke/gateway/resp/client_connection.py
@@ -15,11 +15,20 @@
 
 from tornado.iostream import IOStream, StreamClosedError
 
-from badgeryoke.gateway.actor import Actor, Turns
-from badgeryoke.gateway.attempt import Query, customer_number
-from badgeryoke.gateway.dispatcher import Answer, Core, Passing, Refused, Served
-from badgeryoke.gateway.resp.codec import MAX_BULK, Parser, Value, bulk, error, number, pairs, whole_number
-from badgeryoke.gateway.response_stream import Relay
+from badgeryoke.gateway.actor import Actor, ActorScheduler
+from badgeryoke.gateway.attempt import Request, customer_number
+from badgeryoke.gateway.dispatcher import Dispatcher, Rejected, Response, Served, Streaming
+from badgeryoke.gateway.resp.codec import (
+    MAX_BULK,
+    RespParser,
+    Value,
+    bulk,
+    error,
+    number,
+    pairs,
+    whole_number,
+)
+from badgeryoke.gateway.response_stream import ResponseStream
 
 log = logging.getLogger(__name__)
 N = TypeVar("N", int, float)
@@ -46,7 +55,7 @@
 PONG, OK = b"+PONG\r\n", b"+OK\r\n"
 
 
-def read_query(words: list[Value]) -> Query:
+def read_request(words: list[Value]) -> Request:
     """A query from a command's words; raises ValueError that says what is wrong."""
     if not 4 <= len(words) <= 5 or not all(type(word) is bytes for word in words):
         raise ValueError("expected CUSTOMER ID LIST and at most a body")
@@ -57,7 +66,7 @@
     given = pairs(listed)
     key, retry = given.get("k", ""), given.get("r", "0")
     try:
-        query = Query(
+        query = Request(
             id=rid.decode("ascii"),
             cls=given["c"],
             plan=given["t"],
@@ -87,14 +96,14 @@
         raise ValueError(f"{name}: {fault}") from None
 
 
-def encode(answer: Answer) -> bytes:
+def encode(answer: Response) -> bytes:
     """A final answer on this wire; of a long value the head."""
     match answer:
-        case Passing(relay=relay):
+        case Streaming(relay=relay):
             return b"$%d\r\n" % relay.length
         case Served(value=value):
             return bulk(value)
-        case Refused(retry_after_ms=wait):
+        case Rejected(retry_after_ms=wait):
             return b"-BUSY %d\r\n" % max(round(wait), 1)
     return error(f"ERR failed {answer.detail}")
 
@@ -124,23 +133,23 @@
     def __init__(self, reply: bytes | None = None) -> None:
         self.reply = reply
         self.left: Callable[[], None] | None = None  # tells the core that the client has gone
-        self.relay: Relay | None = None  # a long value that comes in pieces
+        self.relay: ResponseStream | None = None  # a long value that comes in pieces
 
 
-class ClientLink(Actor):
+class RespClientConnection(Actor):
     """One connection: commands in, answers out in the commands' order, one write a turn."""
 
     def __init__(
         self,
         stream: IOStream,
-        core: Core,
-        loop: Turns,
+        core: Dispatcher,
+        loop: ActorScheduler,
         ready: Callable[[], bool],
-        closed: Callable[[ClientLink], None],
+        closed: Callable[[RespClientConnection], None],
     ) -> None:
         super().__init__(loop)
         self._stream, self._core, self._ready, self._closed = stream, core, ready, closed
-        self._parser = Parser(max_items=5, max_depth=1, max_total=MAX_BULK + 2 * MOST_LISTED)
+        self._parser = RespParser(max_items=5, max_depth=1, max_total=MAX_BULK + 2 * MOST_LISTED)
         self._faults = 0
         self._slots: deque[_Slot] = deque()
         self._ending = False  # closes once what was taken is answered
@@ -280,14 +289,14 @@
         name = value[0].upper()
         if name in COMMANDS:
             try:
-                query = read_query(value)
+                query = read_request(value)
                 if problem := self._core.problem(query):
                     raise ValueError(problem)
             except (ValueError, OverflowError) as fault:
                 self._refuse(slot, f"syntax: {fault}")
                 return
             if self._refusing:  # read, it is owed an answer: dropped, it would be lost with the connection
-                slot.reply = encode(Refused(1.0))
+                slot.reply = encode(Rejected(1.0))
                 return
             slot.left = self._core.submit(query, lambda answer: self.post(self._answered, slot, answer))
         elif name == b"PING":
@@ -306,8 +315,8 @@
         if self._faults >= MOST_FAULTS:
             self._broken = self._ending = True
 
-    def _answered(self, slot: _Slot, answer: Answer) -> None:
-        if isinstance(answer, Passing):
+    def _answered(self, slot: _Slot, answer: Response) -> None:
+        if isinstance(answer, Streaming):
             slot.reply, slot.relay = encode(answer), answer.relay
             answer.relay.on_piece = lambda: self.post(self._moved)
         else:
@@ -357,7 +366,7 @@
             if self._ending or (self._slots and self._slots[0].reply is not None):
                 self.deliver(self._moved)
 
-    def _pass_on(self, slot: _Slot, relay: Relay, out: list[bytes | None]) -> bool:
+    def _pass_on(self, slot: _Slot, relay: ResponseStream, out: list[bytes | None]) -> bool:
         """Add the next piece of a long value to what is written, one piece at a time so that a slow client
         holds back the server and not this gateway's memory; True once it is whole."""
         if relay.broken:  # what lies behind it in the order cannot be told from the rest of it
--- a/badgeryoke/gateway/resp/codec.py
+++ b/badgeryoke/gateway/resp/codec.py
@@ -29,7 +29,7 @@
 Value = bytes | int | None | list["Value"]
 
 
-class Parser:
+class RespParser:
     """Takes bytes as they come and gives the values that are whole.
 
     Each byte is looked at once, however small the pieces: what is read of an unfinished array is kept.
--- a/badgeryoke/gateway/resp/listener.py
+++ b/badgeryoke/gateway/resp/listener.py
@@ -8,10 +8,10 @@
 
 from tornado.iostream import IOStream
 
-from badgeryoke.gateway.actor import Turns
-from badgeryoke.gateway.discovery.client import HostGroup
-from badgeryoke.gateway.dispatcher import Core
-from badgeryoke.gateway.resp.client_connection import READ_AT_ONCE, ClientLink
+from badgeryoke.gateway.actor import ActorScheduler
+from badgeryoke.gateway.discovery.client import DiscoveryClient
+from badgeryoke.gateway.dispatcher import Dispatcher
+from badgeryoke.gateway.resp.client_connection import READ_AT_ONCE, RespClientConnection
 
 log = logging.getLogger(__name__)
 
@@ -35,17 +35,23 @@
 TURNED_PART, LEAST_TURNED, ACCEPT_AGAIN_S = 1 / 16, 4, 0.05
 
 
-class RespFront:
+class RespListener:
     """Accepts the platform's clients."""
 
     def __init__(
-        self, core: Core, loop: Turns, most: int, host_group: HostGroup, most_held: int, crowd: int
+        self,
+        core: Dispatcher,
+        loop: ActorScheduler,
+        most: int,
+        host_group: DiscoveryClient,
+        most_held: int,
+        crowd: int,
     ) -> None:
         self._crowd = crowd
         self._most_held = most_held
         self._core, self._loop, self._most, self._host_group = core, loop, most, host_group
         self._whole, self._turned = most, max(int(most * TURNED_PART), LEAST_TURNED)
-        self.links: dict[ClientLink, asyncio.Future[None] | None] = {}  # each with what reads it
+        self.links: dict[RespClientConnection, asyncio.Future[None] | None] = {}  # each with what reads it
         self._listening: list[socket.socket] = []
         self._paused = False
         self.turning = False  # PING says no: clients are sent away
@@ -105,7 +111,7 @@
         stream = IOStream(made, max_buffer_size=CLIENT_BUFFER, read_chunk_size=READ_AT_ONCE)
         stream.set_nodelay(True)
         full = len(self.links) >= self._most and not self._make_room(GIVE_WAY_S)
-        link = ClientLink(stream, self._core, self._loop, self.ready, self._closed)
+        link = RespClientConnection(stream, self._core, self._loop, self.ready, self._closed)
         self.links[link] = None  # known from here on, so that an end waits for it
         if full:
             self._full(f"{len(self.links)} connections are open and in use")
@@ -141,7 +147,7 @@
     def _make_room(self, least_s: float) -> bool:
         """Close the connection whose client has least use of it; False where none was idle for so long."""
         now = self._loop.time()
-        worst: tuple[float, ClientLink] | None = None
+        worst: tuple[float, RespClientConnection] | None = None
         for link in self.links:
             idle_s = now - link.idle_since
             if idle_s < least_s:
@@ -180,5 +186,5 @@
             self._full_logged = False
             log.info("clients are taken again: %d connections are open", len(self.links))
 
-    def _closed(self, link: ClientLink) -> None:
+    def _closed(self, link: RespClientConnection) -> None:
         self.links.pop(link, None)
--- a/badgeryoke/gateway/resp/upstream_connection.py
+++ b/badgeryoke/gateway/resp/upstream_connection.py
@@ -18,13 +18,22 @@
 
 from tornado.iostream import IOStream, StreamClosedError
 
-from badgeryoke.gateway.actor import READ_CHUNK, Actor, Turns, dial, on_close
-from badgeryoke.gateway.attempt import Execution, Query
-from badgeryoke.gateway.resp.codec import MAX_LONG, ErrorReply, Parser, Passed, Value, command, number, pairs
-from badgeryoke.gateway.response_stream import WINDOW, Relay, Room
+from badgeryoke.gateway.actor import READ_CHUNK, Actor, ActorScheduler, dial, on_close
+from badgeryoke.gateway.attempt import Attempt, Request
+from badgeryoke.gateway.resp.codec import (
+    MAX_LONG,
+    ErrorReply,
+    Passed,
+    RespParser,
+    Value,
+    command,
+    number,
+    pairs,
+)
+from badgeryoke.gateway.response_stream import WINDOW, BufferBudget, ResponseStream
 
 if TYPE_CHECKING:
-    from badgeryoke.gateway.cluster.connection_leases import Lease
+    from badgeryoke.gateway.cluster.connection_leases import UpstreamLease
 
 log = logging.getLogger(__name__)
 
@@ -39,7 +48,7 @@
 MOST_OPENING = 8  # connections of one backend on their way up; further attempts wait for these or for others
 
 
-def encode(query: Query, safe: bool, left_ms: float) -> bytes:
+def encode(query: Request, safe: bool, left_ms: float) -> bytes:
     """A query as a client would write it, with the time that this gateway will wait."""
     fields = [f"c={query.cls}", f"t={query.plan}", f"d={max(math.ceil(left_ms), 1)}"]
     if query.key:
@@ -74,7 +83,7 @@
     usable: bool = True
 
 
-def settle(execution: Execution, reply: Value, names: tuple[str, ...], most_units: float) -> Settled:
+def settle(execution: Attempt, reply: Value, names: tuple[str, ...], most_units: float) -> Settled:
     """End an attempt by what came back for it."""
     if isinstance(reply, ErrorReply):
         words = reply.decode("ascii", "replace")
@@ -111,18 +120,18 @@
 class _Connection:
     """One connection of a pool.  Only its server link touches it."""
 
-    def __init__(self, owner: RespServerLink, address: tuple[str, int]) -> None:
+    def __init__(self, owner: RespUpstream, address: tuple[str, int]) -> None:
         self.owner = owner
-        self.execution: Execution | None = None
+        self.execution: Attempt | None = None
         self.used_at = 0.0
         self.answered_at = -math.inf  # on the loop's clock, s
         self.up = False
         self.begun = False  # an answer has come in part
         self.heard_at = 0.0  # when a byte of it came last
-        self.relay: Relay | None = None  # a long value is on its way
+        self.relay: ResponseStream | None = None  # a long value is on its way
         self.room = asyncio.Event()  # the relay takes more; while it does not, nothing is read
         self.paused = False
-        self.parser = Parser(max_items=8, max_long=MAX_LONG)
+        self.parser = RespParser(max_items=8, max_long=MAX_LONG)
         self.stream, coming_up = (dial if owner.lease is None else owner.lease.dial)(address, 256 * 1024)
         on_close(self.stream, lambda: owner.post(owner.closed, self))
         self._task = asyncio.ensure_future(self._live(coming_up))
@@ -146,13 +155,13 @@
                     self.paused, self.heard_at = False, self.owner.now()
 
 
-class RespServerLink(Actor):
+class RespUpstream(Actor):
     """One backend."""
 
     def __init__(
         self,
         address: tuple[str, int],
-        loop: Turns,
+        loop: ActorScheduler,
         clock: Callable[[], float],
         *,
         report_names: tuple[str, ...],
@@ -160,13 +169,13 @@
         idle_ms: float,
         most: int,
         most_units: float = MOST_FIGURE,
-        room: Room | None = None,
-        lease: Lease | None = None,
+        room: BufferBudget | None = None,
+        lease: UpstreamLease | None = None,
     ) -> None:
         super().__init__(loop)
         # where the fleet keeps the server's limit: connections are opened and used under it alone
         self.lease = lease
-        self._room = room or Room(WINDOW)
+        self._room = room or BufferBudget(WINDOW)
         self.address = address
         self._most_units = most_units
         self._clock, self._names = clock, report_names
@@ -174,7 +183,7 @@
         self._idle: list[_Connection] = []
         self._all: dict[_Connection, None] = {}
         self._opening = 0
-        self._waiting: deque[Execution] = deque()
+        self._waiting: deque[Attempt] = deque()
         self._resting = False  # a timer is set for the end of a connection's rest
         self._closed = False
         self._complained = False
@@ -190,11 +199,11 @@
         self._names, self._most_units = report_names, most_units
         self._connect_ms, self._idle_ms = connect_ms, idle_ms * IDLE_PART
 
-    def start(self, execution: Execution) -> None:
+    def start(self, execution: Attempt) -> None:
         """Carry out an attempt on an idle connection, or on one opened for it."""
         self.post(self._start, execution)
 
-    def _start(self, execution: Execution) -> None:
+    def _start(self, execution: Attempt) -> None:
         if self._closed:
             execution.lost("server is gone")
             return
@@ -286,7 +295,7 @@
             self._all[connection] = None
             self._loop.call_later(self._connect_ms / 1000.0, self.deliver, self._too_late, connection)
 
-    def _unmet(self, execution: Execution) -> None:
+    def _unmet(self, execution: Attempt) -> None:
         """No connection in time."""
         if execution in self._waiting:
             self._waiting.remove(execution)
@@ -321,7 +330,7 @@
         self._idle.append(connection)
         self._serve()
 
-    def _write(self, connection: _Connection, execution: Execution, now: float) -> None:
+    def _write(self, connection: _Connection, execution: Attempt, now: float) -> None:
         connection.begun = False
         connection.execution = execution
         execution.on_abandon = lambda: self.post(self._abandoned, connection, execution)
@@ -338,7 +347,7 @@
         elif future.exception() is None:  # else its connection had ended, and nothing is out whole
             execution.written()
 
-    def _stuck(self, connection: _Connection, execution: Execution) -> None:
+    def _stuck(self, connection: _Connection, execution: Attempt) -> None:
         """The last byte must not go out from now on: it is what begins the attempt at the backend."""
         if connection.execution is execution and connection.stream.writing():
             connection.stream.close()
@@ -379,7 +388,7 @@
             connection.begun = True
             self._loop.call_later(BEGUN_MS / 1000.0, self.deliver, self._unended, connection, execution)
 
-    def _pass_on(self, connection: _Connection, execution: Execution) -> None:
+    def _pass_on(self, connection: _Connection, execution: Attempt) -> None:
         """What has come of a long value."""
         parser = connection.parser
         pieces, parser.pieces = parser.pieces, []
@@ -387,7 +396,7 @@
             if not execution.query.streams:
                 parser.fault = parser.fault or "length out of bounds"  # nobody there can take it in pieces
                 return
-            relay = connection.relay = Relay(parser.long, self._room)
+            relay = connection.relay = ResponseStream(parser.long, self._room)
             relay.on_room = connection.room.set
             execution.begins(relay)
         for piece in pieces:
@@ -395,7 +404,7 @@
         if parser.long_whole:
             connection.relay.end()
 
-    def _unended(self, connection: _Connection, execution: Execution) -> None:
+    def _unended(self, connection: _Connection, execution: Attempt) -> None:
         """The rest of an answer has not come: a length that does not fit, or a value that has no end."""
         if connection.begun and connection.execution is execution:
             patience = BEGUN_MS if connection.relay is None else STALLED_MS
@@ -408,7 +417,7 @@
                     self.deliver, self._never_ended, connection, execution, connection.heard_at
                 )
 
-    def _never_ended(self, connection: _Connection, execution: Execution, heard_at: float) -> None:
+    def _never_ended(self, connection: _Connection, execution: Attempt, heard_at: float) -> None:
         """A late event loop comes to the timer first, and only then to what was there in time."""
         if connection.begun and connection.execution is execution:
             if connection.heard_at != heard_at or self._unread(connection):
@@ -416,7 +425,7 @@
             else:
                 self._spoilt(connection, execution, "began an answer and did not end it")
 
-    def _spoilt(self, connection: _Connection, execution: Execution, text: str) -> None:
+    def _spoilt(self, connection: _Connection, execution: Attempt, text: str) -> None:
         """An answer that cannot be read: it may have run, and the connection is done with."""
         self._complain(text)
         connection.execution = execution.on_abandon = None
@@ -424,7 +433,7 @@
         connection.stream.close()
 
     @staticmethod
-    def _broken_off(connection: _Connection, execution: Execution, end: Callable[[], None]) -> None:
+    def _broken_off(connection: _Connection, execution: Attempt, end: Callable[[], None]) -> None:
         """An attempt ends without the end of its answer; one whose long value came whole is served."""
         relay, connection.relay = connection.relay, None
         if relay is not None and relay.whole:
@@ -434,7 +443,7 @@
             relay.fail()
         end()
 
-    def _abandoned(self, connection: _Connection, execution: Execution) -> None:
+    def _abandoned(self, connection: _Connection, execution: Attempt) -> None:
         """Nobody waits any more: closing the connection ends the attempt at the backend."""
         if connection.execution is execution:
             connection.execution = connection.relay = None
--- a/badgeryoke/gateway/response_stream.py
+++ b/badgeryoke/gateway/response_stream.py
@@ -9,7 +9,7 @@
 WINDOW_LEAST = 4 * 1024  # ... and however many are open, one must move
 
 
-class Room:
+class BufferBudget:
     """The gateway's bound on bytes of long values, shared out over the relays that are open."""
 
     def __init__(self, most: int) -> None:
@@ -22,10 +22,10 @@
         return max(min(self._most // max(self.open, 1), WINDOW), WINDOW_LEAST)
 
 
-class Relay:
+class ResponseStream:
     """One value.  The server link puts in and ends it; the client link takes out."""
 
-    def __init__(self, length: int, room: Room) -> None:
+    def __init__(self, length: int, room: BufferBudget) -> None:
         self.length, self._room = length, room
         self._pieces: deque[bytes] = deque()
         self.held = 0
--- a/badgeryoke/testbed/cluster_benchmark.py
+++ b/badgeryoke/testbed/cluster_benchmark.py
@@ -33,13 +33,13 @@
 import msgspec
 
 from badgeryoke.cluster.invariants import Invariants
-from badgeryoke.cluster.key_value import Promise
-from badgeryoke.cluster.raft.node import Replica
-from badgeryoke.cluster.state_machine.part import Applied
-from badgeryoke.gateway.actor import Turns
-from badgeryoke.gateway.cluster.connection_leases import Pools
-from badgeryoke.gateway.cluster.service import Service
-from badgeryoke.gateway.cluster.settings import Fleet, MemberEntry, Servers
+from badgeryoke.cluster.key_value import PutValue
+from badgeryoke.cluster.raft.node import RaftNode
+from badgeryoke.cluster.state_machine.part import ApplyResult
+from badgeryoke.gateway.actor import ActorScheduler
+from badgeryoke.gateway.cluster.connection_leases import ConnectionLeases
+from badgeryoke.gateway.cluster.service import ClusterService
+from badgeryoke.gateway.cluster.settings import ClusterSettings, MemberEntry, Servers
 from badgeryoke.testbed.cluster_simulation.fault_plan import Plan
 from badgeryoke.testbed.cluster_simulation.generated_plans import play_seed
 from badgeryoke.testbed.cluster_simulation.world import FleetWorld
@@ -84,14 +84,14 @@
 # ---------------------------------------------------------------------------------------------------
 
 
-async def _member(fleet: Fleet, pools: bool) -> None:
+async def _member(fleet: ClusterSettings, pools: bool) -> None:
     """Does what a line on stdin asks, one JSON line for each."""
     loop = asyncio.get_running_loop()
     reader = asyncio.StreamReader()
     await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
-    service = Service(fleet, fleet.me)
+    service = ClusterService(fleet, fleet.me)
     if pools:
-        service.pools = Pools(fleet, Turns(loop), service.now, 30_000.0, Idle())
+        service.pools = ConnectionLeases(fleet, ActorScheduler(loop), service.now, 30_000.0, Idle())
         service.pools.listed(f"s{at}" for at in range(SERVERS))
         for at in range(SERVERS):
             lease = service.pools.lease(f"s{at}")
@@ -119,7 +119,7 @@
     service.close()
 
 
-async def _load(service: Service, under_way: int, seconds: float) -> list[float]:
+async def _load(service: ClusterService, under_way: int, seconds: float) -> list[float]:
     """Promise without a pause, so many under way; ms that each acknowledged one took."""
     took: list[float] = []
     until = time.monotonic() + seconds
@@ -130,8 +130,8 @@
         while (begun := time.monotonic()) < until:
             at += 1
             name = f"{prefix}-{which}-{at % 32}"
-            result = await service.call(Promise(id=f"{prefix}-{which}-{at}", name=name, value=VALUE))
-            if isinstance(result, Applied) and result.error is None and time.monotonic() < until:
+            result = await service.call(PutValue(id=f"{prefix}-{which}-{at}", name=name, value=VALUE))
+            if isinstance(result, ApplyResult) and result.error is None and time.monotonic() < until:
                 took.append((time.monotonic() - begun) * 1000.0)
 
     await asyncio.gather(*(one(which) for which in range(under_way)))
@@ -141,7 +141,7 @@
 class Member:
     """Its process, from here."""
 
-    def __init__(self, fleet: Fleet, pools: bool) -> None:
+    def __init__(self, fleet: ClusterSettings, pools: bool) -> None:
         settings = msgspec.json.encode(fleet).decode()
         command = [
             sys.executable,
@@ -194,7 +194,7 @@
         )
         self.members = [
             Member(
-                Fleet(
+                ClusterSettings(
                     True,
                     "bench",
                     one.name,
@@ -323,20 +323,20 @@
 
 def rules(rounds: int = 7) -> None:
     """The same seeds played with the checks, and with an object in their place that looks at nothing."""
-    checked = Replica._rule, Invariants.check
+    checked = RaftNode._rule, Invariants.check
     took: dict[bool, list[float]] = {True: [], False: []}
     for at in range(2 * rounds):
         on = at % 2 == 0
         if on:
-            Replica._rule, Invariants.check = checked  # type: ignore[method-assign]
+            RaftNode._rule, Invariants.check = checked  # type: ignore[method-assign]
         else:
-            Replica._rule = lambda self, rule, holds, facts: bool(holds)  # type: ignore[method-assign]
+            RaftNode._rule = lambda self, rule, holds, facts: bool(holds)  # type: ignore[method-assign]
             Invariants.check = lambda self, rule, holds, facts: bool(holds)  # type: ignore[method-assign]
         begun = time.process_time()
         for seed in (9, 18):
             play_seed(seed, 5, "lossless")
         took[on].append(time.process_time() - begun)
-    Replica._rule, Invariants.check = checked  # type: ignore[method-assign]
+    RaftNode._rule, Invariants.check = checked  # type: ignore[method-assign]
     ratio = statistics.median(one / off for one, off in zip(took[True], took[False], strict=True))
     print(
         f"checked {min(took[True]):.2f} s, not {min(took[False]):.2f} s, ratio {ratio:.3f} (middle of {rounds} pairs)"
@@ -429,7 +429,7 @@
     logging.basicConfig(level=logging.ERROR)
     match given:
         case ["member", pools, fleet]:
-            asyncio.run(_member(msgspec.json.decode(fleet, type=Fleet), json.loads(pools)))
+            asyncio.run(_member(msgspec.json.decode(fleet, type=ClusterSettings), json.loads(pools)))
         case ["idle"]:
             idle()
         case ["idle", members, groups]:
--- a/badgeryoke/testbed/cluster_simulation/disk.py
+++ b/badgeryoke/testbed/cluster_simulation/disk.py
@@ -14,20 +14,20 @@
 
 import msgspec
 
-from badgeryoke.cluster.errors import StoreFailed
+from badgeryoke.cluster.errors import StorageFailed
 from badgeryoke.cluster.events import (
+    DiscardGroup,
     Entries,
-    Forget,
     HardState,
     NodeEvent,
+    PersistedGroup,
+    PersistRecords,
     Record,
-    Saved,
+    RecordsPersisted,
     Snapshot,
-    Store,
-    StoreBroke,
-    Stored,
+    StorageFailure,
 )
-from badgeryoke.cluster.messages import CONFIG, Config, Entry
+from badgeryoke.cluster.messages import CONFIG, GroupConfiguration, LogEntry
 from badgeryoke.testbed.cluster_simulation.network import Calendar
 
 
@@ -38,8 +38,8 @@
     term: int = 0
     vote: str = ""
     snapshot: Snapshot | None = None
-    entries: list[Entry] = field(default_factory=list)
-    config: Config | None = None  # the members that the log names last
+    entries: list[LogEntry] = field(default_factory=list)
+    config: GroupConfiguration | None = None  # the members that the log names last
     config_at: int = 0
 
     @property
@@ -56,7 +56,7 @@
             return self.entries[-1].term
         return self.snapshot.term if self.snapshot else 0
 
-    def at(self, index: int) -> Entry | None:
+    def at(self, index: int) -> LogEntry | None:
         """The entry there, where it has not gone into the snapshot."""
         if not self.entries or not self.entries[0].index <= index <= self.entries[-1].index:
             return None
@@ -86,13 +86,16 @@
             if not keep or self.config_at <= record.index:
                 self._name(self.entries)
 
-    def _name(self, entries: Sequence[Entry]) -> None:
+    def _name(self, entries: Sequence[LogEntry]) -> None:
         """Look for the members that the log names last, among the entries that may do so."""
         if (entries is self.entries or self.config is None) and self.snapshot is not None:
             self.config, self.config_at = self.snapshot.config, self.snapshot.index
         for entry in reversed(entries):
             if entry.kind == CONFIG:
-                self.config, self.config_at = msgspec.msgpack.decode(entry.body, type=Config), entry.index
+                self.config, self.config_at = (
+                    msgspec.msgpack.decode(entry.body, type=GroupConfiguration),
+                    entry.index,
+                )
                 return
 
 
@@ -108,28 +111,28 @@
         self.incarnation = self._drawn()
         self.syncs = 0
         self._life = 0  # of the process that writes
-        self._asked: list[Store] = []
-        self._under_way: list[Store] = []
+        self._asked: list[PersistRecords] = []
+        self._under_way: list[PersistRecords] = []
 
     def _drawn(self) -> str:
         return f"{self._draw.getrandbits(32):08x}"
 
-    def start(self, life: int) -> dict[str, Saved]:
+    def start(self, life: int) -> dict[str, PersistedGroup]:
         """A process opens it."""
         self._life = life
         return {
-            name: Saved(kept.term, kept.vote, kept.snapshot, tuple(kept.entries))
+            name: PersistedGroup(kept.term, kept.vote, kept.snapshot, tuple(kept.entries))
             for name, kept in sorted(self.groups.items())
         }
 
-    def put(self, store: Store) -> None:
+    def put(self, store: PersistRecords) -> None:
         """The running process wants this on stable storage."""
         if self.full:
             self._calendar.at(
                 self._calendar.now + 0.1,
                 self._tell,
                 self._life,
-                StoreBroke(StoreFailed(store.group, "no space left on device")),
+                StorageFailure(StorageFailed(store.group, "no space left on device")),
             )
             return
         self._asked.append(store)
@@ -150,11 +153,11 @@
         if self._asked:
             self._sync()
         for store in done:
-            self._tell(life, Stored(store.group, store.seq))
+            self._tell(life, RecordsPersisted(store.group, store.seq))
 
-    def _write(self, store: Store) -> None:
+    def _write(self, store: PersistRecords) -> None:
         for record in store.records:
-            if isinstance(record, Forget):
+            if isinstance(record, DiscardGroup):
                 self.groups.pop(store.group, None)
             else:
                 self.groups.setdefault(store.group, Kept()).take(record)
--- a/badgeryoke/testbed/cluster_simulation/gateway.py
+++ b/badgeryoke/testbed/cluster_simulation/gateway.py
@@ -16,13 +16,19 @@
 from random import Random
 from typing import TYPE_CHECKING, Any
 
-from badgeryoke.cluster.connection_limits import Keeper, process
-from badgeryoke.cluster.invariants import Broken
-from badgeryoke.cluster.messages import name_of
-from badgeryoke.cluster.reservations.contract import ContractsRead, Propose, Terms, Window
-from badgeryoke.cluster.reservations.lease_client import Floor
-from badgeryoke.cluster.rolling_restart.restart import Duty, RollAsk, Rolled, RollsRead, least_ms
-from badgeryoke.cluster.state_machine.part import FLEET, Applied
+from badgeryoke.cluster.connection_limits import ConnectionLeaseHolder, process
+from badgeryoke.cluster.invariants import InvariantViolation
+from badgeryoke.cluster.messages import member_name
+from badgeryoke.cluster.reservations.contract import ContractTerms, ProposeContract, ReadContracts, Window
+from badgeryoke.cluster.reservations.lease_client import ReservationClient
+from badgeryoke.cluster.rolling_restart.restart import (
+    DesiredState,
+    ReadRollingRestarts,
+    RollingRestartAgent,
+    StartRollingRestart,
+    least_ms,
+)
+from badgeryoke.cluster.state_machine.part import FLEET, ApplyResult
 from badgeryoke.testbed.checkers.contract_ledger import LEFT_OUT_MS, Book, least
 from badgeryoke.testbed.cluster_simulation.clock import UNIX_MS
 from badgeryoke.testbed.scenario.model import ContractText, RollText
@@ -64,9 +70,9 @@
     """One process's holders, and what it has under way."""
 
     life: int
-    floor: Floor
-    keeper: Keeper
-    rolled: Rolled
+    floor: ReservationClient
+    keeper: ConnectionLeaseHolder
+    rolled: RollingRestartAgent
     conns: dict[str, list[Conn]] = field(default_factory=dict)
     need: dict[str, int] = field(default_factory=dict)
     need_at: float = 0.0
@@ -143,9 +149,9 @@
         who = process(machine.id, f"b{machine.boot}", str(machine.life))
         side = self.sides[machine.name] = Side(
             machine.life,
-            Floor(machine.id, str(machine.life), world.timings, machine.hall, world.plan.members),
-            Keeper(who, world.timings, world.rules, now, alone=True),
-            Rolled(machine.name, who),
+            ReservationClient(machine.id, str(machine.life), world.timings, machine.hall, world.plan.members),
+            ConnectionLeaseHolder(who, world.timings, world.rules, now, alone=True),
+            RollingRestartAgent(machine.name, who),
         )
         side.floor.wake = partial(self._later, world.nudge, machine.name, side.life)
         self._calendar.at(
@@ -189,7 +195,7 @@
                     self._pool(name, side, now)
                 if self.world.plan.rolls:
                     self._roll(machine, side, now)
-            except Broken as fault:
+            except InvariantViolation as fault:
                 self.world.found(fault.rule.name, f"{name}: {fault}")
                 return
         self._calendar.at(self._calendar.now + (PUMP_MS / 2.0 if waits else PUMP_MS), self._pump, name, life)
@@ -310,10 +316,10 @@
 
     def _propose(self, deal: Deal, tries: int) -> None:
         text = deal.text
-        command = Propose(
+        command = ProposeContract(
             id=f"lab/{text.name}",
             contract=text.name,
-            terms=Terms(
+            terms=ContractTerms(
                 deal.tenant,
                 deal.customers,
                 text.rate,
@@ -324,7 +330,7 @@
         )
 
         def told(result: Any) -> None:
-            if isinstance(result, Applied) and result.error is None:
+            if isinstance(result, ApplyResult) and result.error is None:
                 deal.admitted = True
             elif tries < 10:
                 self._calendar.at(self._calendar.now + 300.0, self._propose, deal, tries + 1)
@@ -430,13 +436,13 @@
         """Ask what is told of units short."""
 
         def told(result: Any) -> None:
-            if isinstance(result, Applied) and result.error is None:
+            if isinstance(result, ApplyResult) and result.error is None:
                 for facts in result.value["contracts"].values():
                     self.told_short[facts["contract"]] = sum(facts["short"].values())
 
         if self.deals:
             self.world.settle(REPORTED_MS)
-            self._call(ContractsRead(id="lab/read"), told)
+            self._call(ReadContracts(id="lab/read"), told)
 
     def contract_floor(self) -> float | None:
         """See badgeryoke.testbed.checkers.contract_ledger."""
@@ -479,7 +485,7 @@
             )
 
     def _ask_roll(self, text: RollText, tries: int) -> None:
-        command = RollAsk(
+        command = StartRollingRestart(
             id=f"lab/{text.name}",
             roll=text.name,
             at_once=text.at_once,
@@ -491,7 +497,7 @@
         self.roll_states.setdefault(text.name, "not asked")
 
         def told(result: Any) -> None:
-            if isinstance(result, Applied) and result.error is None:
+            if isinstance(result, ApplyResult) and result.error is None:
                 self.roll_states[text.name] = "asked"
                 self._asked_at[text.name] = self._calendar.now
                 self._calendar.at(self._calendar.now + 300.0, self._read_roll, text)
@@ -504,7 +510,7 @@
 
     def _read_roll(self, text: RollText) -> None:
         def told(result: Any) -> None:
-            if isinstance(result, Applied) and result.error is None:
+            if isinstance(result, ApplyResult) and result.error is None:
                 self.roll_states.update(
                     {one["roll"]: one["state"] for one in result.value if one["roll"] == text.name}
                 )
@@ -513,7 +519,7 @@
             elif self.roll_states[text.name] == "done":
                 self._rolled(text)
 
-        self._call(RollsRead(id="lab/roll"), told)
+        self._call(ReadRollingRestarts(id="lab/roll"), told)
 
     def _rolled(self, text: RollText) -> None:
         """How long it took, against the least that the limits allow with waves as long as those of this
@@ -522,7 +528,7 @@
             return
         world, names = self.world, [f"g{number}" for number in text.gateways]
         groups = {
-            group: tuple(map(name_of, config.voters))
+            group: tuple(map(member_name, config.voters))
             for group in world.groups()
             if (config := world.config(group)) is not None
         }
@@ -562,7 +568,7 @@
             self._missing = {
                 at: self._missing.get(at, self._calendar.now)
                 for at in self.world.missing()
-                if name_of(at[1]) not in self.away
+                if member_name(at[1]) not in self.away
             }
 
     def half_drained(self) -> list[str]:
@@ -600,9 +606,9 @@
             whole=whole,
         )
         for duty in rolled.duties(now):
-            if duty is Duty.PAUSE:
+            if duty is DesiredState.PAUSE:
                 side.paused_at = true
-            elif duty is Duty.RESUME:
+            elif duty is DesiredState.RESUME:
                 side.paused_at = math.inf
             elif not side.leaving:
                 side.leaving = True
--- a/badgeryoke/testbed/cluster_simulation/network.py
+++ b/badgeryoke/testbed/cluster_simulation/network.py
@@ -14,7 +14,13 @@
 from random import Random
 from typing import Any
 
-from badgeryoke.cluster.messages import AnyMessage, Append, Forward, Piece, Reply
+from badgeryoke.cluster.messages import (
+    AnyMessage,
+    AppendEntries,
+    ForwardedCall,
+    ForwardedReply,
+    InstallSnapshotChunk,
+)
 
 Pair = tuple[str, str]  # names: from, to
 MOST_KEPT = 16
@@ -48,9 +54,9 @@
 
 def size_of(message: AnyMessage) -> int:
     """About how many bytes it takes on the wire."""
-    if isinstance(message, Append):
+    if isinstance(message, AppendEntries):
         return FRAME + sum(len(entry.body) + 12 for entry in message.entries)
-    if isinstance(message, Piece | Forward | Reply):
+    if isinstance(message, InstallSnapshotChunk | ForwardedCall | ForwardedReply):
         return FRAME + len(message.body)
     return FRAME
 
--- a/badgeryoke/testbed/cluster_simulation/world.py
+++ b/badgeryoke/testbed/cluster_simulation/world.py
@@ -17,36 +17,36 @@
 
 import msgspec
 
-from badgeryoke.cluster.errors import FleetError
+from badgeryoke.cluster.errors import ClusterError
 from badgeryoke.cluster.events import (
-    Call,
-    Done,
+    ClusterCall,
     Effect,
-    Leave,
+    LeaveCluster,
+    LogEvent,
+    MessageReceived,
     NodeEvent,
-    Received,
-    Saved,
-    Say,
-    Send,
-    Store,
+    OperationCompleted,
+    PersistedGroup,
+    PersistRecords,
+    SendMessage,
     Tick,
 )
-from badgeryoke.cluster.invariants import Broken, Invariants
-from badgeryoke.cluster.key_value import Promise, PromiseRead
+from badgeryoke.cluster.invariants import Invariants, InvariantViolation
+from badgeryoke.cluster.key_value import PutValue, ReadValue
 from badgeryoke.cluster.messages import (
     CONFIG,
     AnyMessage,
-    Append,
-    Appended,
-    Config,
+    AppendEntries,
+    AppendEntriesReply,
+    GroupConfiguration,
     GroupMessage,
-    Piece,
-    Vote,
-    name_of,
+    InstallSnapshotChunk,
+    RequestVoteReply,
+    member_name,
 )
-from badgeryoke.cluster.node import FOUNDING, Holder, Member, Node, Setup
+from badgeryoke.cluster.node import FOUNDING, ClusterNode, LeaseClient, Member, NodeSetup
 from badgeryoke.cluster.placement.directory import group_of
-from badgeryoke.cluster.state_machine.part import Applied, Command
+from badgeryoke.cluster.state_machine.part import ApplyResult, Command
 from badgeryoke.cluster.timings import Timings
 from badgeryoke.testbed.checkers.history_checker import Finding, Op, Verdict, judge
 from badgeryoke.testbed.cluster_simulation.clock import Clock
@@ -63,7 +63,10 @@
 LOOK_MS = 50.0
 MOST_CONFIGS = 4
 SETTLE_MS = 40_000.0  # within which a mended fleet has to answer again
-NodeType = Callable[[Setup, dict[str, Saved], Random, float, float, Invariants, Iterable[Holder]], Node]
+NodeType = Callable[
+    [NodeSetup, dict[str, PersistedGroup], Random, float, float, Invariants, Iterable[LeaseClient]],
+    ClusterNode,
+]
 
 
 @dataclass(slots=True)
@@ -74,8 +77,8 @@
     hall: str
     clock: Clock
     disk: Disk
-    setup: Setup
-    node: Node | None = None
+    setup: NodeSetup
+    node: ClusterNode | None = None
     life: int = 0
     boot: int = 1  # of the machine itself: a lost one boots anew
     frozen: bool = False
@@ -97,7 +100,7 @@
 class FleetWorld:
     """One run of a plan."""
 
-    def __init__(self, plan: Plan, node_type: NodeType = Node) -> None:
+    def __init__(self, plan: Plan, node_type: NodeType = ClusterNode) -> None:
         self.plan, self._node_type = plan, node_type
         seed = f"fleet/{plan.seed}"
         self.calendar = Calendar()
@@ -123,7 +126,7 @@
                 member.hall,
                 clock,
                 disk,
-                Setup(
+                NodeSetup(
                     "lab",
                     member.name,
                     disk.incarnation,
@@ -146,7 +149,7 @@
         self._votes: dict[tuple[str, str, int], str] = {}
         self.most_leaders = 1
         self._configs: dict[
-            str, list[Config]
+            str, list[GroupConfiguration]
         ] = {}  # the last that leaders told of each group: one counts at once
         self._commits: dict[str, int] = {}  # highest that a leader told, for each group
         self._before: dict[str, int] = {}  # the same at the look before
@@ -183,7 +186,7 @@
                 self.rules,
                 self.gates.start(machine, now),
             )
-        except Broken as fault:
+        except InvariantViolation as fault:
             self.found(fault.rule.name, str(fault))
             return
         self._give(name, machine.life, [Tick()])
@@ -234,7 +237,7 @@
         try:
             for event in events:
                 effects += node.handle(now, wall, event)
-        except Broken as fault:
+        except InvariantViolation as fault:
             self.found(fault.rule.name, f"{name}: {fault}")
             return
         except Exception:
@@ -266,26 +269,26 @@
     def _carry_out(self, machine: Machine, effects: list[Effect]) -> None:
         sends: dict[str, list[AnyMessage]] = {}
         for effect in effects:
-            if isinstance(effect, Send):
+            if isinstance(effect, SendMessage):
                 sends.setdefault(effect.to, []).append(effect.message)
                 self._saw(machine, effect.to, effect.message)
-            elif isinstance(effect, Store):
+            elif isinstance(effect, PersistRecords):
                 machine.disk.put(effect)
-            elif isinstance(effect, Done):
+            elif isinstance(effect, OperationCompleted):
                 done = machine.waits.pop(effect.token, None)
                 if done is not None:
                     done(effect.result)
-            elif isinstance(effect, Say):
+            elif isinstance(effect, LogEvent):
                 self.says[effect.event] = self.says.get(effect.event, 0) + 1
         for to, messages in sends.items():
-            self.network.send(machine.name, name_of(to), (machine.id, to, messages), messages)
+            self.network.send(machine.name, member_name(to), (machine.id, to, messages), messages)
 
     def _arrive(self, sender: str, to: str, envelope: tuple[str, str, list[AnyMessage]]) -> None:
         machine = self.machines.get(to)
         who, meant, messages = envelope
         if machine is None or machine.node is None or (meant.partition("/")[2] and meant != machine.id):
             return  # told to a member as it was before: the shell throws it away
-        self._give(to, machine.life, [Received(who, message) for message in messages])
+        self._give(to, machine.life, [MessageReceived(who, message) for message in messages])
 
     # What the referee sees on the network and the disks ---------------------------------------------------
 
@@ -300,24 +303,24 @@
             kept = machine.disk.groups.get(message.group)
             if kept is not None and message.term < kept.term:
                 self.found("term-forgotten", f"{machine.id}: {message}; on disk term {kept.term}")
-        if kind is Append or kind is Piece:
-            assert isinstance(message, Append | Piece)
+        if kind is AppendEntries or kind is InstallSnapshotChunk:
+            assert isinstance(message, AppendEntries | InstallSnapshotChunk)
             at = message.group, message.term
             leader = self._leaders.setdefault(at, machine.id)
             if leader != machine.id:
                 self.most_leaders = max(self.most_leaders, 2)
                 self.found("two-leaders", f"{at}: {leader} and {machine.id}")
-            if isinstance(message, Append):
+            if isinstance(message, AppendEntries):
                 for entry in message.entries:
                     if entry.kind == CONFIG:
                         told = self._configs.setdefault(message.group, [])
-                        told.append(msgspec.msgpack.decode(entry.body, type=Config))
+                        told.append(msgspec.msgpack.decode(entry.body, type=GroupConfiguration))
                         del told[:-MOST_CONFIGS]
-            if isinstance(message, Append) and message.commit > self._commits.get(message.group, 0):
+            if isinstance(message, AppendEntries) and message.commit > self._commits.get(message.group, 0):
                 self._commits[message.group] = message.commit
                 self._check_commit(machine, message.group, message.commit)
-        elif kind is Vote:
-            assert isinstance(message, Vote)
+        elif kind is RequestVoteReply:
+            assert isinstance(message, RequestVoteReply)
             if message.granted and not message.pre:
                 kept = machine.disk.groups.get(message.group, Kept())
                 if kept.term < message.term or (kept.term == message.term and kept.vote != to):
@@ -331,8 +334,8 @@
                         "two-votes",
                         f"{machine.name} in term {message.term} of {message.group}: {whom} and {to}",
                     )
-        elif kind is Appended:
-            assert isinstance(message, Appended)
+        elif kind is AppendEntriesReply:
+            assert isinstance(message, AppendEntriesReply)
             if message.good and message.index:
                 kept = machine.disk.groups.get(message.group, Kept())
                 if kept.last < message.index:
@@ -374,10 +377,10 @@
             }
         )
 
-    def config(self, group: str) -> Config | None:
+    def config(self, group: str) -> GroupConfiguration | None:
         """The members of a group by the disks: those of the log that won last."""
         best: tuple[int, int] = -1, -1
-        found: Config | None = None
+        found: GroupConfiguration | None = None
         for machine in self.machines.values():
             kept = machine.disk.groups.get(group)
             if kept is None or (kept.last_term, kept.last) <= best:
@@ -390,14 +393,14 @@
         """Copies that are not there, not on a machine that runs, or without what was committed a while
         ago, by group and Id; one without an Id where a group has too few, or is none yet."""
         up = {machine.id for machine in self.machines.values() if machine.up and not machine.disk.full}
-        ups = {name_of(one) for one in up}
+        ups = {member_name(one) for one in up}
         found: list[tuple[str, str]] = []
         for group in self.groups():
             config = self.config(group)
             if config is None or len(config.voters) < min(self.plan.copies, len(ups)):
                 found.append((group, ""))
             for who in (*config.voters, *config.learners) if config is not None else ():
-                kept = self.machines[name_of(who)].disk.groups.get(group)
+                kept = self.machines[member_name(who)].disk.groups.get(group)
                 if (
                     who not in up
                     or kept is None
@@ -462,7 +465,7 @@
                 served[group] = (
                     config is not None
                     and sum(
-                        name_of(who) in joined and who == self.machines[name_of(who)].id
+                        member_name(who) in joined and who == self.machines[member_name(who)].id
                         for who in config.voters
                     )
                     >= config.majority()
@@ -563,7 +566,7 @@
         token = f"c{self.calls}"
         machine.waits[token] = done
         self.calendar.at(self.calendar.now + self.timings.call_ms + CLIENT_MS, self._late, name, token)
-        self._give(name, machine.life, [Call(token, command)])
+        self._give(name, machine.life, [ClusterCall(token, command)])
 
     def leave(self, name: str, done: Callable[[Any], None]) -> None:
         """Let a process hand over what it leads."""
@@ -572,7 +575,7 @@
         token = f"l{self.calls}"
         machine.waits[token] = done
         self.calendar.at(self.calendar.now + 1000.0, self._late, name, token)
-        self._give(name, machine.life, [Leave(token)])
+        self._give(name, machine.life, [LeaveCluster(token)])
 
     def _late(self, name: str, token: str) -> None:
         done = self.machines[name].waits.pop(token, None)
@@ -600,15 +603,15 @@
 
     def _try(self, op: Op, name: str, tries: int, unknown: bool) -> None:
         command: Command = (
-            PromiseRead(id=f"{op.id}.{tries}", name=op.key)
+            ReadValue(id=f"{op.id}.{tries}", name=op.key)
             if op.value is None
-            else Promise(id=op.id, name=op.key, value=op.value)
+            else PutValue(id=op.id, name=op.key, value=op.value)
         )
         op.through = name
         self.call(name, command, lambda result: self._answered(op, name, tries, unknown, result))
 
     def _answered(self, op: Op, name: str, tries: int, unknown: bool, result: Any) -> None:
-        if isinstance(result, Applied) and result.error is None:
+        if isinstance(result, ApplyResult) and result.error is None:
             if op.fate == "answered":  # a repeat: told as the first time
                 if result.value != op.result:
                     self.found(
@@ -623,8 +626,8 @@
             return
         if op.fate == "answered":
             return
-        error = result.error if isinstance(result, Applied) else result
-        unknown = unknown or not isinstance(error, FleetError) or error.code == "unknown-outcome"
+        error = result.error if isinstance(result, ApplyResult) else result
+        unknown = unknown or not isinstance(error, ClusterError) or error.code == "unknown-outcome"
         if tries < MOST_TRIES and (error is None or error.retry) and not self.over:
             up = [other for other, machine in self.machines.items() if machine.node is not None] or [name]
             self.calendar.at(
--- a/badgeryoke/testbed/dispatcher_cost.py
+++ b/badgeryoke/testbed/dispatcher_cost.py
@@ -17,12 +17,12 @@
 from collections.abc import Callable
 from typing import Any
 
-from badgeryoke.cluster.reservations.lease_client import Floor, Stake
+from badgeryoke.cluster.reservations.lease_client import ContractLease, ReservationClient
 from badgeryoke.cluster.timings import Timings
 from badgeryoke.decisions import interface as api
-from badgeryoke.gateway.actor import Turns
-from badgeryoke.gateway.attempt import Execution, Query
-from badgeryoke.gateway.dispatcher import Core
+from badgeryoke.gateway.actor import ActorScheduler
+from badgeryoke.gateway.attempt import Attempt, Request
+from badgeryoke.gateway.dispatcher import Dispatcher
 
 QUERIES, ROUNDS = 100, 500
 KINDS = ("off", "no contract", "another's contract", "drawn")
@@ -57,34 +57,34 @@
     """One core and a server that answers at once."""
 
     def __init__(self, kind: str) -> None:
-        self.loop, self._out, self._answers, self._asked = Loop(), list[Execution](), 0, 0
-        cls = api.RequestClass("read", 400.0, 2000.0, api.Effect.SAFE)
+        self.loop, self._out, self._answers, self._asked = Loop(), list[Attempt](), 0, 0
+        cls = api.RequestClass("read", 400.0, 2000.0, api.Idempotency.IDEMPOTENT)
         settings = api.Settings(
             0, 1, "a", 2.0, (cls,), (api.Plan("plan", 1e6, 1e6),), can_cancel=True, max_attempts=3
         )
-        self.core = Core(
+        self.core = Dispatcher(
             settings,
             1,
-            Turns(self.loop),
+            ActorScheduler(self.loop),
             lambda: self.loop.now * 1000.0,
             lambda _: self,
             self,
             reserves=kind != "off",
         )
         self.core.members(
-            api.Members(
-                api.Scope.FULL,
-                tuple(api.Server(number, "a", "std", 0, api.State.UP) for number in range(1, 9)),
+            api.EndpointList(
+                api.ListScope.FULL,
+                tuple(api.Server(number, "a", "std", 0, api.EndpointState.UP) for number in range(1, 9)),
             )
         )
         if kind != "off":
-            floor = Floor("a", "p", Timings())
+            floor = ReservationClient("a", "p", Timings())
             if kind != "no contract":
                 self._stake(floor, 5 if kind == "drawn" else 6)
             self.core.guarantee(floor, lambda: self.loop.now * 1000.0)
 
     @staticmethod
-    def _stake(floor: Floor, customer: int) -> None:
+    def _stake(floor: ReservationClient, customer: int) -> None:
         facts = {
             "versions": [
                 {
@@ -101,14 +101,14 @@
             "hall": "",
         }
         floor._learn(0.0, 1, [facts])
-        one: Stake = floor.stakes["peak"]
+        one: ContractLease = floor.stakes["peak"]
         one.part = one.cap = one.level = one.fair = one.wish = 1e9
         one.ends = one.until_ms = math.inf
 
     def add(self, *_: object) -> None:
         raise AssertionError("no counter here")
 
-    def start(self, execution: Execution) -> None:
+    def start(self, execution: Attempt) -> None:
         self._out.append(execution)
 
     def _answered(self, answer: object) -> None:
@@ -119,7 +119,7 @@
         begun = time.process_time()
         for _ in range(QUERIES):
             self._asked += 1
-            self.core.submit(Query(str(self._asked), "read", "plan", 5, 2000.0, 1.0, 1), self._answered)
+            self.core.submit(Request(str(self._asked), "read", "plan", 5, 2000.0, 1.0, 1), self._answered)
             self.loop.run()
             for execution in self._out:
                 execution.written()
--- a/badgeryoke/testbed/report/result.py
+++ b/badgeryoke/testbed/report/result.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from badgeryoke.decisions import interface as api
-from badgeryoke.decisions.counter_health.detector import Belief
+from badgeryoke.decisions.counter_health.detector import CounterState
 from badgeryoke.decisions.counter_health.error_bound import CEILING_ERROR, stated
 from badgeryoke.testbed.checkers.quota_checker import Referee, Verdict
 from badgeryoke.testbed.scenario.model import Scenario
@@ -14,8 +14,8 @@
 DEADLINE_MS, SAFE_AIM_MS = 2000.0, 400.0
 ALARMS = {
     belief.value
-    for belief in Belief
-    if belief not in (Belief.UNKNOWN, Belief.SOUND, Belief.SLOW, Belief.HEALED)
+    for belief in CounterState
+    if belief not in (CounterState.UNKNOWN, CounterState.SOUND, CounterState.SLOW, CounterState.HEALED)
 }
 REAL = ("kill", "lose", "freeze", "split", "swap", "spoil", "restore")  # faults that are a loss
 AFTER_MS = 5000.0  # a belief so long after the last fault is a false one
@@ -73,11 +73,11 @@
 def settings_of(scenario: Scenario, me: int) -> api.Settings:
     """The settings that a gateway of this scenario is told."""
     return api.Settings(
-        me=me,
-        gateways=scenario.gateways,
+        gateway_index=me,
+        gateway_count=scenario.gateways,
         zone="hall-a",
         tick_ms=4.0,
-        classes=(api.RequestClass("balance-check", SAFE_AIM_MS, DEADLINE_MS, api.Effect.SAFE),),
+        classes=(api.RequestClass("balance-check", SAFE_AIM_MS, DEADLINE_MS, api.Idempotency.IDEMPOTENT),),
         plans=tuple(
             api.Plan(
                 plan.name,
@@ -95,15 +95,15 @@
         ),
         has_counter=True,
         counter_timeout_ms=scenario.counter_timeout_ms,
-        max_units=float(max((crowd.units[1] for crowd in scenario.crowds), default=1)),
+        max_request_units=float(max((crowd.units[1] for crowd in scenario.crowds), default=1)),
         max_attempts=3,
         can_cancel=True,
         max_retry_after_ms=1000.0,
-        answer_slack_ms=16.0,
-        cold_from=0.16,
-        warm_within_ms=14_000.0,
-        fall_multiple=3.0,
-        fall_window_ms=1500.0,
+        response_slack_ms=16.0,
+        slow_start_fraction=0.16,
+        slow_start_ms=14_000.0,
+        overload_multiple=3.0,
+        overload_window_ms=1500.0,
     )
 
 
--- a/badgeryoke/testbed/simulation/world.py
+++ b/badgeryoke/testbed/simulation/world.py
@@ -13,8 +13,8 @@
 from typing import Any
 
 from badgeryoke.decisions import interface as api
-from badgeryoke.decisions.counter_health.monitored_policy import Guarded
-from badgeryoke.decisions.policy.engine import Gateway
+from badgeryoke.decisions.counter_health.monitored_policy import MonitoredEngine
+from badgeryoke.decisions.policy.engine import DecisionEngine
 from badgeryoke.testbed.checkers.quota_checker import Referee
 from badgeryoke.testbed.customers import Customer, draw_customers
 from badgeryoke.testbed.report.result import DEADLINE_MS, Result, Shown, conclude, settings_of
@@ -39,11 +39,12 @@
         self.referee = Referee(scenario.plans, scenario.trouble)
         half = scenario.clock_skew_ms / 2
         self._skew = [rng.uniform(-half, half) for _ in range(scenario.gateways)]
-        self._gateways: list[Gateway | Guarded | None] = [None] * scenario.gateways
+        self._gateways: list[DecisionEngine | MonitoredEngine | None] = [None] * scenario.gateways
         self._lives = [0] * scenario.gateways
         self._dead_at = [math.inf] * scenario.gateways
         self._servers = tuple(
-            api.Server(number + 1, "hall-a", "std", 0, api.State.UP) for number in range(scenario.servers)
+            api.Server(number + 1, "hall-a", "std", 0, api.EndpointState.UP)
+            for number in range(scenario.servers)
         )
         self._customers = draw_customers(scenario, rng)
         self._spike = 1.0
@@ -93,8 +94,10 @@
             self._kill(gateway)
         self._lives[gateway] += 1
         settings, seed = settings_of(self.scenario, gateway), self._rng.getrandbits(32)
-        self._gateways[gateway] = Guarded(settings, seed) if self.scenario.watch else Gateway(settings, seed)
-        self._tell(gateway, self._lives[gateway], api.Members(api.Scope.WARM_COPY, self._servers))
+        self._gateways[gateway] = (
+            MonitoredEngine(settings, seed) if self.scenario.watch else DecisionEngine(settings, seed)
+        )
+        self._tell(gateway, self._lives[gateway], api.EndpointList(api.ListScope.CACHED, self._servers))
 
     def _kill(self, gateway: int) -> None:
         self._lives[gateway] += 1
@@ -112,19 +115,19 @@
         skew = FIRST_MS + self._skew[gateway]
         for action in made.handle(self.now + skew, event):
             match action:
-                case api.Send(id=rid, server=server):
+                case api.SendAttempt(id=rid, server=server):
                     self._send(gateway, life, rid, server)
-                case api.Refuse(id=rid, retry_after_ms=wait):
+                case api.Reject(id=rid, retry_after_ms=wait):
                     self._answer(rid, "refused", wait)
                 case api.Fail(id=rid):
                     self._answer(rid, "failed")
-                case api.Count(name=name, units=units, expire_ms=expire):
+                case api.AddToCounter(name=name, units=units, expire_ms=expire):
                     self._count(gateway, life, name, units, expire)
-                case api.Wake(at_ms=at, token=token):
-                    self._at(max(at - skew, self.now), self._tell, gateway, life, api.Due(token))
+                case api.SetTimer(at_ms=at, token=token):
+                    self._at(max(at - skew, self.now), self._tell, gateway, life, api.TimerFired(token))
                 case _:
                     pass
-        if isinstance(made, Guarded):
+        if isinstance(made, MonitoredEngine):
             for change in made.take_changes():
                 self.beliefs.append(
                     Shown(round(self.now, 3), gateway, change.new.value, change.sign.value, change.hidden)
@@ -210,7 +213,9 @@
             true = max(true + self._rng.choice((-1.0, 1.0)), 1.0)
         self._answer(rid, "served")
         rtt = self.now - sent
-        self._tell(gateway, life, api.Outcome(rid, 0, server, api.Verdict.OK, rtt, True, true, (rtt, 1.0)))
+        self._tell(
+            gateway, life, api.AttemptOutcome(rid, 0, server, api.Verdict.OK, rtt, True, true, (rtt, 1.0))
+        )
 
     # The counter ----------------------------------------------------------------------------------------
 
@@ -225,21 +230,23 @@
         back = answer.at_ms + self._rng.uniform(*HOP_MS)
         verdict = {
             "ok": api.Verdict.OK,
-            "full": api.Verdict.FULL,
+            "full": api.Verdict.QUEUE_FULL,
             "refused": api.Verdict.CONNECT_FAILED,
             "spoilt": api.Verdict.TIMEOUT,
             "silent": api.Verdict.TIMEOUT,
         }[answer.fate]
         if answer.fate == "silent" or back > late:
             verdict, back = api.Verdict.TIMEOUT, late
-        total = api.Total(name, verdict, back - sent, answer.total if verdict is api.Verdict.OK else 0.0)
+        total = api.CounterReply(
+            name, verdict, back - sent, answer.total if verdict is api.Verdict.OK else 0.0
+        )
         self._at(back, self._tell, gateway, life, total)
 
     # The end --------------------------------------------------------------------------------------------
 
     def _result(self) -> Result:
         for made in self._gateways:
-            if isinstance(made, Guarded):
+            if isinstance(made, MonitoredEngine):
                 self._watch_calls += made.calls_made
         seconds = self.now / 1000.0
         return conclude(
