--- a/tests/cluster/raft/test_raft.py
+++ b/tests/cluster/raft/test_raft.py
@@ -13,47 +13,47 @@
 import pytest
 
 from badgeryoke.cluster.errors import (
-    Crowded,
-    FleetError,
+    ClusterError,
     InvariantBroken,
     NoLeader,
-    StoreFailed,
+    Overloaded,
+    StorageFailed,
     UnknownOutcome,
     WrongState,
 )
 from badgeryoke.cluster.events import (
-    Change,
-    Done,
+    ChangeMembership,
     Effect,
     Entries,
-    HandOver,
     HardState,
-    Propose,
-    Read,
-    Received,
+    MessageReceived,
+    OperationCompleted,
+    PersistedGroup,
+    PersistRecords,
+    ProposeCommand,
+    ReadIndexRequest,
+    RecordsPersisted,
     ReplicaEvent,
-    Saved,
-    Send,
+    SendMessage,
     Snapshot,
-    Store,
-    StoreBroke,
-    Stored,
+    StorageFailure,
     Tick,
+    TransferLeadership,
 )
-from badgeryoke.cluster.invariants import Broken, Invariants, Rule
+from badgeryoke.cluster.invariants import Invariants, InvariantViolation, Rule
 from badgeryoke.cluster.messages import (
     COMMAND,
-    Append,
-    Appended,
-    Ask,
-    Config,
-    Entry,
-    Id,
-    Piece,
-    Vote,
-    name_of,
+    AppendEntries,
+    AppendEntriesReply,
+    GroupConfiguration,
+    InstallSnapshotChunk,
+    LogEntry,
+    MemberId,
+    RequestVote,
+    RequestVoteReply,
+    member_name,
 )
-from badgeryoke.cluster.raft.node import MOST_BODY, Replica, Role
+from badgeryoke.cluster.raft.node import MOST_BODY, RaftNode, Role
 from badgeryoke.cluster.timings import Timings
 
 TIMINGS = Timings(snapshot_entries=15, piece_bytes=96, most_batch=4, most_in_flight=16)
@@ -89,20 +89,20 @@
 class Site:
     """One process with its disk."""
 
-    me: Id
-    config: Config | None
-    saved: Saved = field(default_factory=Saved)
-    replica: Replica | None = None
+    me: MemberId
+    config: GroupConfiguration | None
+    saved: PersistedGroup = field(default_factory=PersistedGroup)
+    replica: RaftNode | None = None
     machine: Kept | None = None
     life: int = 0
     rate: float = 1.0
     frozen: bool = False
     backlog: list[ReplicaEvent] = field(default_factory=list)
-    stores: list[Store] = field(default_factory=list)  # asked for and not yet on the disk
+    stores: list[PersistRecords] = field(default_factory=list)  # asked for and not yet on the disk
     hold_store: bool = False
 
 
-def write(saved: Saved, store: Store) -> Saved:
+def write(saved: PersistedGroup, store: PersistRecords) -> PersistedGroup:
     """What a store makes of records."""
     for record in store.records:
         if isinstance(record, HardState):
@@ -122,25 +122,25 @@
 class World:
     """The members of one group, a network and a clock."""
 
-    def __init__(self, seed: int, voters: int, kind: type[Replica] = Replica, wild: bool = False) -> None:
+    def __init__(self, seed: int, voters: int, kind: type[RaftNode] = RaftNode, wild: bool = False) -> None:
         self.draw, self.kind, self.wild = random.Random(seed), kind, wild
         self.now, self.count = 0.0, 0
         self.queue: list[tuple[float, int, Callable[[], None]]] = []
         self.history: dict[int, bytes] = {}
-        self.leaders: dict[int, Id] = {}
-        self.cut: set[tuple[Id, Id]] = set()
+        self.leaders: dict[int, MemberId] = {}
+        self.cut: set[tuple[MemberId, MemberId]] = set()
         self.asked: dict[
-            str, tuple[str, Id, int, int]
+            str, tuple[str, MemberId, int, int]
         ] = {}  # open calls: kind, at whom, its life, acknowledged before
         self.answers: dict[str, Any] = {}
         self.acked: dict[str, int] = {}
-        self.lost: Callable[[Id, Id, Any], bool] = lambda sender, to, message: False
-        config = Config(tuple(f"{name}/1" for name in "abcde"[:voters]))
-        self.sites: dict[Id, Site] = {}
+        self.lost: Callable[[MemberId, MemberId, Any], bool] = lambda sender, to, message: False
+        config = GroupConfiguration(tuple(f"{name}/1" for name in "abcde"[:voters]))
+        self.sites: dict[MemberId, Site] = {}
         for who in config.voters:
             self.add(who, config)
 
-    def add(self, who: Id, config: Config | None) -> Site:
+    def add(self, who: MemberId, config: GroupConfiguration | None) -> Site:
         site = self.sites[who] = Site(who, config)
         if self.wild:
             site.rate = self.draw.uniform(0.99, 1.01)
@@ -205,9 +205,9 @@
     def carry_out(self, site: Site, effects: list[Effect]) -> None:
         life = site.life
         for effect in effects:
-            if isinstance(effect, Send):
+            if isinstance(effect, SendMessage):
                 self.send(site.me, effect.to, effect.message)
-            elif isinstance(effect, Store):
+            elif isinstance(effect, PersistRecords):
                 site.stores.append(effect)
                 if not site.hold_store:
                     delay = (
@@ -216,16 +216,16 @@
                         else 1.0
                     )
                     self.at(delay, lambda: self.stored(site, life))
-            elif isinstance(effect, Done):
+            elif isinstance(effect, OperationCompleted):
                 self.done(site, effect.token, effect.result)
 
     def stored(self, site: Site, life: int) -> None:
         if site.life == life and site.stores and not site.hold_store:
             store = site.stores.pop(0)
             site.saved = write(site.saved, store)
-            self.post(site, Stored("g", store.seq))
+            self.post(site, RecordsPersisted("g", store.seq))
 
-    def send(self, sender: Id, to: Id, message: Any) -> None:
+    def send(self, sender: MemberId, to: MemberId, message: Any) -> None:
         if (sender, to) in self.cut or self.lost(sender, to, message):
             return
         copies = 1
@@ -241,12 +241,12 @@
                 )
             self.at(delay, lambda: self.arrive(sender, to, message))
 
-    def arrive(self, sender: Id, to: Id, message: Any) -> None:
+    def arrive(self, sender: MemberId, to: MemberId, message: Any) -> None:
         site = self.sites.get(to)
         if site is not None:
-            self.post(site, Received(sender, message))
+            self.post(site, MessageReceived(sender, message))
 
-    def call(self, kind: str, event: Propose | Read | Change, site: Site) -> str:
+    def call(self, kind: str, event: ProposeCommand | ReadIndexRequest | ChangeMembership, site: Site) -> str:
         self.asked[event.token] = (kind, site.me, site.life, max(self.acked.values(), default=0))
         self.post(site, event)
         return event.token
@@ -256,7 +256,7 @@
             raise Found(f"answered twice: {token}")
         self.answers[token] = result
         kind, _, _, before = self.asked.pop(token)
-        if isinstance(result, FleetError):
+        if isinstance(result, ClusterError):
             return
         assert site.machine is not None
         if kind == "propose":
@@ -292,10 +292,15 @@
         assert found is not None
         return found
 
-    def say(self, event: Propose | Read | Change, site: Site | None = None, ms: float = 3000.0) -> Any:
+    def say(
+        self,
+        event: ProposeCommand | ReadIndexRequest | ChangeMembership,
+        site: Site | None = None,
+        ms: float = 3000.0,
+    ) -> Any:
         """Make a call and run until it has its answer."""
         token = self.call(
-            "propose" if isinstance(event, Propose) else type(event).__name__.lower(),
+            "propose" if isinstance(event, ProposeCommand) else type(event).__name__.lower(),
             event,
             site or self.lead(),
         )
@@ -328,13 +333,13 @@
     planted fault)."""
 
     def __init__(
-        self, seed: int, kind: type[Replica] = Replica, wipe_as_was: bool = False, ms: float = 5000.0
+        self, seed: int, kind: type[RaftNode] = RaftNode, wipe_as_was: bool = False, ms: float = 5000.0
     ) -> None:
         self.draw = random.Random(seed)
         self.world = World(seed, 3 if self.draw.random() < 0.7 else 5, kind, True)
         self.wipe_as_was, self.end = wipe_as_was, ms
         self.tokens = 0
-        self.replacing: list[Change] = []
+        self.replacing: list[ChangeMembership] = []
         self.world.at(0.0, self.load)
         self.world.at(300.0, self.fault)
         self.world.at(50.0, self.operate)
@@ -357,9 +362,9 @@
         if site.replica is None or (site.frozen and len(site.backlog) > 200):
             return
         if self.draw.random() < 0.7:
-            world.call("propose", Propose(token, token.encode()), site)
+            world.call("propose", ProposeCommand(token, token.encode()), site)
         else:
-            world.call("read", Read(token), site)
+            world.call("read", ReadIndexRequest(token), site)
 
     def operate(self) -> None:
         """Take newcomers in and let the lost go, one act after another; at times, hand over."""
@@ -385,7 +390,7 @@
                 ):  # the next one at once has to be refused
                     world.call("change", replace(self.replacing[-1], token=self.token()), leader)
         elif self.draw.random() < 0.05:
-            world.post(leader, HandOver())
+            world.post(leader, TransferLeadership())
 
     def fault(self) -> None:
         world, draw = self.world, self.draw
@@ -443,16 +448,16 @@
                 return
         world.crash(site)
         if self.wipe_as_was:
-            site.saved = Saved()
+            site.saved = PersistedGroup()
             world.start(site)
             return
         del world.sites[site.me]
         name, _, number = site.me.partition("/")
         new = world.add(f"{name}/{int(number) + 1}", None)
         self.replacing = [
-            Change("", "learn", new.me),
-            Change("", "promote", new.me),
-            Change("", "remove", site.me),
+            ChangeMembership("", "learn", new.me),
+            ChangeMembership("", "promote", new.me),
+            ChangeMembership("", "remove", site.me),
         ]
 
     def run(self) -> None:
@@ -465,7 +470,7 @@
             if leader is None or leader.replica is None or self.replacing or world.asked:
                 continue
             if not isinstance(
-                world.say(Propose(self.token(), f"c{self.tokens}".encode()), leader), FleetError
+                world.say(ProposeCommand(self.token(), f"c{self.tokens}".encode()), leader), ClusterError
             ):
                 break
         else:
@@ -500,63 +505,65 @@
 # ---------------------------------------------------------------------------------------------------------
 
 
-def member(world: World, who: Id) -> Replica:
+def member(world: World, who: MemberId) -> RaftNode:
     replica = world.sites[who].replica
     assert replica is not None
     return replica
 
 
-def apart(world: World, *parts: tuple[Id, ...]) -> None:
+def apart(world: World, *parts: tuple[MemberId, ...]) -> None:
     """Only members of one part hear each other."""
     world.cut = {(one, other) for part in parts for one in part for other in world.sites if other not in part}
     world.cut |= {(other, one) for one, other in world.cut}
 
 
-def alone(saved: Saved, config: Config | None = None) -> tuple[Replica, Kept]:
+def alone(saved: PersistedGroup, config: GroupConfiguration | None = None) -> tuple[RaftNode, Kept]:
     """One copy a/1 without a network; its founding record is stored."""
     machine = Kept(World(0, 0))
-    replica = Replica("g", "a/1", saved, machine, TIMINGS, random.Random(1), Invariants(), 0.0, config)
+    replica = RaftNode("g", "a/1", saved, machine, TIMINGS, random.Random(1), Invariants(), 0.0, config)
     stored(replica, 0.0, replica.handle(0.0, Tick()))
     return replica, machine
 
 
-def stored(replica: Replica, now: float, effects: list[Effect]) -> list[Effect]:
+def stored(replica: RaftNode, now: float, effects: list[Effect]) -> list[Effect]:
     """Answer the stores among the effects; gives what comes of it."""
     return [
         made
         for effect in effects
-        if isinstance(effect, Store)
-        for made in replica.handle(now, Stored("g", effect.seq))
+        if isinstance(effect, PersistRecords)
+        for made in replica.handle(now, RecordsPersisted("g", effect.seq))
     ]
 
 
 def sent(effects: list[Effect], kind: type[Any]) -> list[Any]:
     return [
-        effect.message for effect in effects if isinstance(effect, Send) and isinstance(effect.message, kind)
+        effect.message
+        for effect in effects
+        if isinstance(effect, SendMessage) and isinstance(effect.message, kind)
     ]
 
 
-THREE = Config(("a/1", "b/1", "c/1"))
+THREE = GroupConfiguration(("a/1", "b/1", "c/1"))
 
 
 def test_figure_8_an_older_terms_entry_is_not_committed_by_counting() -> None:
     """The paper's (c): an entry of term 2 lies on a majority, and the leader of term 4 may not count it."""
-    founded = Saved(
+    founded = PersistedGroup(
         3,
         "",
         Snapshot(0, 0, THREE, msgspec.msgpack.encode([])),
-        (Entry(1, 1, COMMAND, b"x"), Entry(2, 2, COMMAND, b"y")),
+        (LogEntry(1, 1, COMMAND, b"x"), LogEntry(2, 2, COMMAND, b"y")),
     )
     replica, machine = alone(founded)
-    assert sent(replica.handle(replica.due, Tick()), Ask)
-    made = replica.handle(2000.0, Received("b/1", Vote("g", 4, True, True)))
-    assert sent(stored(replica, 2000.0, made), Ask)
-    made = replica.handle(2000.0, Received("b/1", Vote("g", 4, True, False)))
+    assert sent(replica.handle(replica.due, Tick()), RequestVote)
+    made = replica.handle(2000.0, MessageReceived("b/1", RequestVoteReply("g", 4, True, True)))
+    assert sent(stored(replica, 2000.0, made), RequestVote)
+    made = replica.handle(2000.0, MessageReceived("b/1", RequestVoteReply("g", 4, True, False)))
     assert replica.role is Role.LEADER and replica.last == 3
     stored(replica, 2000.0, made)
-    replica.handle(2001.0, Received("b/1", Appended("g", 4, True, 2, 1)))
+    replica.handle(2001.0, MessageReceived("b/1", AppendEntriesReply("g", 4, True, 2, 1)))
     assert replica.commit == 0 and not machine.rows
-    replica.handle(2002.0, Received("b/1", Appended("g", 4, True, 3, 1)))
+    replica.handle(2002.0, MessageReceived("b/1", AppendEntriesReply("g", 4, True, 3, 1)))
     assert replica.commit == 3 and machine.rows == [(1, b"x"), (2, b"y")]
 
 
@@ -578,10 +585,10 @@
     world = World(2, 3)
     old = world.lead()
     apart(world, (old.me,))
-    assert isinstance(world.say(Propose("p", b"p"), old), UnknownOutcome)
-    assert isinstance(world.say(Read("r"), old), NoLeader)
+    assert isinstance(world.say(ProposeCommand("p", b"p"), old), UnknownOutcome)
+    assert isinstance(world.say(ReadIndexRequest("r"), old), NoLeader)
     assert member(world, old.me).role is not Role.LEADER
-    world.say(Propose("q", b"q"))
+    world.say(ProposeCommand("q", b"q"))
     world.cut = set()
     world.run(2000.0)
     world.check_all()
@@ -593,8 +600,8 @@
     old = world.lead()
     old.frozen = True
     world.run(700.0)
-    world.say(Propose("p", b"p"), world.lead(old))
-    token = world.call("read", Read("r"), old)
+    world.say(ProposeCommand("p", b"p"), world.lead(old))
+    token = world.call("read", ReadIndexRequest("r"), old)
     world.thaw(old)
     assert isinstance(world.answers[token], NoLeader)
 
@@ -602,26 +609,28 @@
 def test_learners_come_first_and_one_at_a_time() -> None:
     world = World(4, 3)
     for number in range(40):
-        world.say(Propose(f"p{number}", f"p{number}".encode()))
+        world.say(ProposeCommand(f"p{number}", f"p{number}".encode()))
     leader, new = world.lead(), world.add("d/1", None)
     replica = member(world, leader.me)
-    assert not isinstance(world.say(Propose("more", b"more")), FleetError)
+    assert not isinstance(world.say(ProposeCommand("more", b"more")), ClusterError)
     apart(world, ("d/1",))
-    assert not isinstance(world.say(Change("l", "learn", "d/1")), FleetError)
-    assert isinstance(world.say(Change("p", "promote", "d/1")), WrongState) and replica.behind() == ("d/1",)
+    assert not isinstance(world.say(ChangeMembership("l", "learn", "d/1")), ClusterError)
+    assert isinstance(
+        world.say(ChangeMembership("p", "promote", "d/1")), WrongState
+    ) and replica.behind() == ("d/1",)
     world.cut = set()
     pieces = 0
 
-    def lossy(sender: Id, to: Id, message: Any) -> bool:
+    def lossy(sender: MemberId, to: MemberId, message: Any) -> bool:
         nonlocal pieces
-        pieces += isinstance(message, Piece)
-        return isinstance(message, Piece) and pieces % 3 == 0
+        pieces += isinstance(message, InstallSnapshotChunk)
+        return isinstance(message, InstallSnapshotChunk) and pieces % 3 == 0
 
     world.lost = lossy
     assert world.run(5000.0, lambda: not replica.behind()) and pieces >= 4
     assert replica.config.voters == THREE.voters  # a learner counts for nothing
-    token = world.call("change", Change("one", "promote", "d/1"), leader)
-    assert isinstance(world.say(Change("two", "remove", "a/1"), leader), WrongState)
+    token = world.call("change", ChangeMembership("one", "promote", "d/1"), leader)
+    assert isinstance(world.say(ChangeMembership("two", "remove", "a/1"), leader), WrongState)
     assert world.run(1000.0, lambda: token in world.answers)
     assert world.answers[token].voters == (*THREE.voters, "d/1") and new.machine is not None
     world.run(300.0)
@@ -632,7 +641,7 @@
     world = World(5, 3)
     old = world.lead()
     apart(world, (old.me,))
-    token = world.call("change", Change("c", "learn", "d/1"), old)
+    token = world.call("change", ChangeMembership("c", "learn", "d/1"), old)
     assert member(world, old.me).config.learners == ("d/1",)
     assert world.run(3000.0, lambda: token in world.answers and world.leader() not in (None, old))
     assert isinstance(world.answers[token], UnknownOutcome)
@@ -644,12 +653,12 @@
 def test_a_leader_lets_itself_go_and_a_hand_over_takes_no_election_time() -> None:
     world = World(6, 3)
     old = world.lead()
-    world.post(old, HandOver())
-    refused = world.call("propose", Propose("late", b"late"), old)
+    world.post(old, TransferLeadership())
+    refused = world.call("propose", ProposeCommand("late", b"late"), old)
     assert isinstance(world.answers[refused], NoLeader)
     assert world.run(100.0, lambda: world.leader() not in (None, old))
     second = world.lead()
-    assert world.say(Change("x", "remove", second.me), second).voters == tuple(
+    assert world.say(ChangeMembership("x", "remove", second.me), second).voters == tuple(
         who for who in THREE.voters if who != second.me
     )
     assert world.run(100.0, lambda: world.leader() not in (None, second))
@@ -661,22 +670,26 @@
     leader = world.lead()
     other = next(who for who in world.sites if who != leader.me)
     apart(world, (other,))
-    world.say(Propose("p", b"p"), leader)
-    world.post(leader, HandOver(other))
+    world.say(ProposeCommand("p", b"p"), leader)
+    world.post(leader, TransferLeadership(other))
     world.run(700.0)
-    assert not isinstance(world.say(Propose("q", b"q"), leader), FleetError)
+    assert not isinstance(world.say(ProposeCommand("q", b"q"), leader), ClusterError)
 
 
 def test_nothing_is_told_before_it_is_stored() -> None:
-    replica, _ = alone(Saved(), THREE)
-    made = replica.handle(5.0, Received("b/1", Ask("g", 1, 0, 0, False)))
-    assert not sent(made, Vote)
-    again = replica.handle(6.0, Received("c/1", Ask("g", 1, 0, 0, False)))
-    assert [vote.granted for vote in sent(again, Vote)] == [False]
-    assert [vote.granted for vote in sent(stored(replica, 7.0, made), Vote)] == [True]
-    made = replica.handle(8.0, Received("b/1", Append("g", 1, 0, 0, (Entry(1, 1, COMMAND, b"x"),), 0, 4)))
-    assert [(one.index, one.round) for one in sent(made, Appended)] == [(0, 4)]  # the round alone
-    assert [(one.good, one.index) for one in sent(stored(replica, 9.0, made), Appended)] == [(True, 1)]
+    replica, _ = alone(PersistedGroup(), THREE)
+    made = replica.handle(5.0, MessageReceived("b/1", RequestVote("g", 1, 0, 0, False)))
+    assert not sent(made, RequestVoteReply)
+    again = replica.handle(6.0, MessageReceived("c/1", RequestVote("g", 1, 0, 0, False)))
+    assert [vote.granted for vote in sent(again, RequestVoteReply)] == [False]
+    assert [vote.granted for vote in sent(stored(replica, 7.0, made), RequestVoteReply)] == [True]
+    made = replica.handle(
+        8.0, MessageReceived("b/1", AppendEntries("g", 1, 0, 0, (LogEntry(1, 1, COMMAND, b"x"),), 0, 4))
+    )
+    assert [(one.index, one.round) for one in sent(made, AppendEntriesReply)] == [(0, 4)]  # the round alone
+    assert [(one.good, one.index) for one in sent(stored(replica, 9.0, made), AppendEntriesReply)] == [
+        (True, 1)
+    ]
 
 
 def test_a_store_that_broke_ends_all_promises() -> None:
@@ -684,82 +697,97 @@
     old = world.lead()
     old.hold_store = True
     world.cut = {(old.me, who) for who in world.sites}
-    token = world.call("propose", Propose("p", b"p"), old)
+    token = world.call("propose", ProposeCommand("p", b"p"), old)
     world.cut = set()
-    world.post(old, StoreBroke(StoreFailed("disk", "full")))
+    world.post(old, StorageFailure(StorageFailed("disk", "full")))
     assert isinstance(world.answers[token], UnknownOutcome)
-    assert isinstance(world.answers[world.call("read", Read("r"), old)], StoreFailed)
+    assert isinstance(world.answers[world.call("read", ReadIndexRequest("r"), old)], StorageFailed)
     assert world.run(200.0, lambda: world.leader() not in (None, old))  # another was told to stand
     replica = member(world, old.me)
     assert replica.handle(
-        world.now, Received("b/1", Ask("g", 99, 99, 99, False))
+        world.now, MessageReceived("b/1", RequestVote("g", 99, 99, 99, False))
     ) == [] and replica.due == float("inf")
 
 
 def test_who_is_answered() -> None:
     """A voter answers an unknown asker only where its log is newer; it may be a member by an entry missing
     here."""
-    replica, _ = alone(Saved(), THREE)
-    assert replica.handle(1.0, Received("d/1", Ask("g", 9, 0, 0, False))) == [] and replica.term == 0
-    made = replica.handle(2.0, Received("d/1", Ask("g", 9, 3, 2, False)))
-    assert replica.term == 9 and [vote.granted for vote in sent(stored(replica, 2.0, made), Vote)] == [True]
-    store = replica.forget()[-1]
-    assert isinstance(store, Store)
-    newcomer, _ = alone(write(Saved(), store), THREE)  # its vote outlives its log
-    assert newcomer.vote == "d/1" and newcomer.config == Config(())
-    newcomer, _ = alone(Saved())
-    assert newcomer.handle(1.0, Received("b/1", Ask("g", 9, 3, 2, False))) == [] and newcomer.due == float(
-        "inf"
+    replica, _ = alone(PersistedGroup(), THREE)
+    assert (
+        replica.handle(1.0, MessageReceived("d/1", RequestVote("g", 9, 0, 0, False))) == []
+        and replica.term == 0
     )
+    made = replica.handle(2.0, MessageReceived("d/1", RequestVote("g", 9, 3, 2, False)))
+    assert replica.term == 9 and [
+        vote.granted for vote in sent(stored(replica, 2.0, made), RequestVoteReply)
+    ] == [True]
+    store = replica.forget()[-1]
+    assert isinstance(store, PersistRecords)
+    newcomer, _ = alone(write(PersistedGroup(), store), THREE)  # its vote outlives its log
+    assert newcomer.vote == "d/1" and newcomer.config == GroupConfiguration(())
+    newcomer, _ = alone(PersistedGroup())
+    assert newcomer.handle(
+        1.0, MessageReceived("b/1", RequestVote("g", 9, 3, 2, False))
+    ) == [] and newcomer.due == float("inf")
 
 
 def test_a_copy_is_whole_when_it_has_what_its_leader_told_to_be_committed() -> None:
     """After a start, having applied what it knows to be committed says nothing: it knows of nothing."""
-    founded = Saved(3, "", Snapshot(0, 0, THREE, msgspec.msgpack.encode([])), (Entry(1, 1, COMMAND, b"x"),))
+    founded = PersistedGroup(
+        3, "", Snapshot(0, 0, THREE, msgspec.msgpack.encode([])), (LogEntry(1, 1, COMMAND, b"x"),)
+    )
     replica, _ = alone(founded)
     assert replica.applied == replica.commit and not replica.whole
     for index, previous, whole in ((1, 0, False), (2, 1, False), (3, 2, True)):
-        said = Append("g", 3, previous, int(previous > 0), (Entry(index, 1, COMMAND, b"x"),), 3, 1)
-        replica.handle(float(index), Received("b/1", said))
+        said = AppendEntries("g", 3, previous, int(previous > 0), (LogEntry(index, 1, COMMAND, b"x"),), 3, 1)
+        replica.handle(float(index), MessageReceived("b/1", said))
         assert replica.leader == "b/1" and replica.whole is whole
 
 
 def test_an_earlier_incarnation_does_not_count() -> None:
-    for kind in (Replica, ByName):
+    for kind in (RaftNode, ByName):
         replica = kind(
-            "g", "a/1", Saved(), Kept(World(0, 0)), TIMINGS, random.Random(1), Invariants(), 0.0, THREE
+            "g",
+            "a/1",
+            PersistedGroup(),
+            Kept(World(0, 0)),
+            TIMINGS,
+            random.Random(1),
+            Invariants(),
+            0.0,
+            THREE,
         )
         stored(replica, 0.0, replica.handle(0.0, Tick()))
         replica.handle(2000.0, Tick())
-        vote = Received("b/0", Vote("g", 1, True, True))
+        vote = MessageReceived("b/0", RequestVoteReply("g", 1, True, True))
         stored(replica, 2000.0, replica.handle(2000.0, vote))
-        if kind is Replica:
+        if kind is RaftNode:
             assert replica.role is Role.PRE
         else:
-            with pytest.raises(Broken, match="VOTE_ONCE"):
-                replica.handle(2000.0, Received("b/0", Vote("g", 1, True, False)))
+            with pytest.raises(InvariantViolation, match="VOTE_ONCE"):
+                replica.handle(2000.0, MessageReceived("b/0", RequestVoteReply("g", 1, True, False)))
 
 
 def test_in_service_a_broken_rule_ends_the_copys_promises() -> None:
     rules = Invariants(strict=False)
     replica = ToldTooSoon(
-        "g", "a/1", Saved(), Kept(World(0, 0)), TIMINGS, random.Random(1), rules, 0.0, THREE
+        "g", "a/1", PersistedGroup(), Kept(World(0, 0)), TIMINGS, random.Random(1), rules, 0.0, THREE
     )
-    made = replica.handle(1.0, Received("b/1", Ask("g", 1, 0, 0, False)))
-    assert not sent(made, Vote) and [rule for rule, _ in rules.broken] == [Rule.STORED_FIRST]
-    assert isinstance(replica.handle(2.0, Propose("p", b""))[0].result, InvariantBroken)  # type: ignore[union-attr]
-    assert replica.handle(2.0, Received("b/1", Append("g", 1, 0, 0, (), 0, 1))) == []
+    made = replica.handle(1.0, MessageReceived("b/1", RequestVote("g", 1, 0, 0, False)))
+    assert not sent(made, RequestVoteReply) and [rule for rule, _ in rules.broken] == [Rule.STORED_FIRST]
+    assert isinstance(replica.handle(2.0, ProposeCommand("p", b""))[0].result, InvariantBroken)  # type: ignore[union-attr]
+    assert replica.handle(2.0, MessageReceived("b/1", AppendEntries("g", 1, 0, 0, (), 0, 1))) == []
 
 
 @pytest.mark.parametrize(
     "saved",
     [
-        Saved(1, "", None, (Entry(1, 1, COMMAND, b""),)),
-        Saved(1, "", Snapshot(3, 1, THREE, b"\x90"), (Entry(5, 1, COMMAND, b""),)),
-        Saved(1, "", Snapshot(3, 1, THREE, b"\x90"), (Entry(4, 2, COMMAND, b""),)),
+        PersistedGroup(1, "", None, (LogEntry(1, 1, COMMAND, b""),)),
+        PersistedGroup(1, "", Snapshot(3, 1, THREE, b"\x90"), (LogEntry(5, 1, COMMAND, b""),)),
+        PersistedGroup(1, "", Snapshot(3, 1, THREE, b"\x90"), (LogEntry(4, 2, COMMAND, b""),)),
     ],
 )
-def test_a_store_that_does_not_hold_together_is_refused(saved: Saved) -> None:
+def test_a_store_that_does_not_hold_together_is_refused(saved: PersistedGroup) -> None:
     with pytest.raises(ValueError):
         alone(saved)
 
@@ -768,26 +796,27 @@
     world = World(9, 3)
     leader = world.lead()
     for number in range(TIMINGS.most_in_flight + 1):
-        world.call("propose", Propose(f"p{number}", b"p"), leader)
-        world.call("read", Read(f"r{number}"), leader)
-    assert isinstance(world.answers[f"p{TIMINGS.most_in_flight}"], Crowded)
-    assert isinstance(world.answers[f"r{TIMINGS.most_in_flight}"], Crowded)
+        world.call("propose", ProposeCommand(f"p{number}", b"p"), leader)
+        world.call("read", ReadIndexRequest(f"r{number}"), leader)
+    assert isinstance(world.answers[f"p{TIMINGS.most_in_flight}"], Overloaded)
+    assert isinstance(world.answers[f"r{TIMINGS.most_in_flight}"], Overloaded)
     assert isinstance(
-        world.answers[world.call("propose", Propose("long", b"x" * (MOST_BODY + 1)), leader)], Crowded
+        world.answers[world.call("propose", ProposeCommand("long", b"x" * (MOST_BODY + 1)), leader)],
+        Overloaded,
     )
     world.history.clear()
     other = next(site for site in world.sites.values() if site is not leader)
-    assert isinstance(world.answers[world.call("read", Read("r"), other)], NoLeader)
+    assert isinstance(world.answers[world.call("read", ReadIndexRequest("r"), other)], NoLeader)
 
 
 # Planted faults: each found by name within a stated number of seeds
 # ---------------------------------------------------
 
 
-class ToldTooSoon(Replica):
+class ToldTooSoon(RaftNode):
     """Votes, askings and answers go out before they are stored."""
 
-    def _tell_stored(self, to: Id, message: Any) -> None:
+    def _tell_stored(self, to: MemberId, message: Any) -> None:
         self._tell(to, message)
 
 
@@ -798,60 +827,62 @@
         return True
 
 
-class OldTerm(Replica):
+class OldTerm(RaftNode):
     """Commits by counting copies of an older term's entry."""
 
     def _may_count(self, index: int) -> bool:
         return True
 
 
-class CutsAll(Replica):
+class CutsAll(RaftNode):
     """Takes an append that comes late in place of what is committed there."""
 
-    def _take(self, entries: tuple[Entry, ...]) -> bool:
+    def _take(self, entries: tuple[LogEntry, ...]) -> bool:
         if entries and self._log.base < entries[0].index <= self.commit and not self._cut(entries[0].index):
             return False
         return super()._take(entries)
 
 
-class TwoChanges(Replica):
+class TwoChanges(RaftNode):
     """Takes a change of members while another is under way, and learners that have not caught up."""
 
-    def _change_fault(self, change: Change) -> FleetError | None:
+    def _change_fault(self, change: ChangeMembership) -> ClusterError | None:
         return None
 
 
-class TwoVotes(Replica):
+class TwoVotes(RaftNode):
     """Votes for whoever asks."""
 
-    def _may_vote(self, who: Id) -> bool:
+    def _may_vote(self, who: MemberId) -> bool:
         return True
 
 
-class ByName(Replica):
+class ByName(RaftNode):
     """Counts a vote by the member's name, of whatever incarnation."""
 
-    def _counts(self, who: Id) -> bool:
-        return name_of(who) in map(name_of, self.config.voters)
+    def _counts(self, who: MemberId) -> bool:
+        return member_name(who) in map(member_name, self.config.voters)
 
 
-class NoRound(Replica):
+class NoRound(RaftNode):
     """Answers a read from what is applied."""
 
     def _read(self, now: float, token: str) -> None:
-        self._out.append(Done(token, None if self.role is Role.LEADER else NoLeader(self.group, "")))
+        self._out.append(
+            OperationCompleted(token, None if self.role is Role.LEADER else NoLeader(self.group, ""))
+        )
 
 
-class AppliesAgain(Replica):
+class AppliesAgain(RaftNode):
     """Goes back by one with each new term."""
 
-    def _follow(self, now: float, term: int, leader: Id = "") -> None:
+    def _follow(self, now: float, term: int, leader: MemberId = "") -> None:
         if term > self.term and self.applied > self._log.base:
             self.applied -= 1
         super()._follow(now, term, leader)
 
 
-PLANTED: tuple[tuple[str, type[Replica], dict[str, bool], int, tuple[str, ...]], ...] = (
+PLANTED: tuple[tuple[str, type[RaftNode], dict[str, bool], int, tuple[str, ...]], ...] = (
     ("vote told before it is stored", ToldTooSoon, {}, 1, ("STORED_FIRST",)),
     ("the same, checks off", Unchecked, {}, 100, ("two leaders", "two commands", "lost", "stale read")),
     ("commit by counting an older term", OldTerm, {}, 20, ("OWN_TERM",)),
@@ -862,7 +893,7 @@
     ("an entry is applied again", AppliesAgain, {}, 20, ("applied twice", "APPLIED_ONCE")),
     (
         "a lost disk comes back as who it was",
-        Replica,
+        RaftNode,
         {"wipe_as_was": True},
         100,
         ("two leaders", "two commands", "lost", "ONE_LEADER", "COMMITTED_STAYS"),
@@ -874,12 +905,12 @@
     "kind, how, seeds, names", [row[1:] for row in PLANTED], ids=[row[0] for row in PLANTED]
 )
 def test_planted_fault_is_found_by_name(
-    kind: type[Replica], how: dict[str, bool], seeds: int, names: tuple[str, ...]
+    kind: type[RaftNode], how: dict[str, bool], seeds: int, names: tuple[str, ...]
 ) -> None:
     for seed in range(seeds):
         try:
             Storm(seed, kind, **how).run()
-        except (Broken, Found) as found:
+        except (InvariantViolation, Found) as found:
             if str(found).startswith(names):
                 return
             raise
--- a/tests/cluster/reservations/test_contracts.py
+++ b/tests/cluster/reservations/test_contracts.py
@@ -23,37 +23,37 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
 from badgeryoke.cluster.errors import (
-    BadCall,
-    FleetError,
-    LeaseOver,
-    NoRoom,
-    NotThere,
+    ClusterError,
+    InsufficientCapacity,
+    InvalidCall,
+    LeaseExpired,
+    NotFound,
     UnknownOutcome,
     WrongState,
 )
-from badgeryoke.cluster.invariants import Broken, Invariants, Rule
+from badgeryoke.cluster.invariants import Invariants, InvariantViolation, Rule
 from badgeryoke.cluster.leases import lease_pool
-from badgeryoke.cluster.leases.lease_pool import Divided, Grant
+from badgeryoke.cluster.leases.lease_pool import LeaseGrant, LeasePool
 from badgeryoke.cluster.reservations import contract
 from badgeryoke.cluster.reservations.contract import (
+    AdvanceContracts,
     CancelContract,
-    Capacity,
-    Change,
-    Contracts,
-    ContractsRead,
-    Floors,
-    Lease,
-    Open,
-    Pass,
-    Propose,
-    Short,
-    Terms,
-    Told,
+    ChangeContract,
+    ContractRegistry,
+    ContractTerms,
+    GuaranteedRates,
+    OpenContract,
+    ProposeContract,
+    ReadContracts,
+    ReportShortfall,
+    RequestLease,
+    SetCapacity,
+    VersionDrained,
     Window,
 )
-from badgeryoke.cluster.reservations.lease_client import Floor
-from badgeryoke.cluster.reservations.priority_shedding import Claim, Share, split
-from badgeryoke.cluster.state_machine.part import Applied, Command, View
+from badgeryoke.cluster.reservations.lease_client import ReservationClient
+from badgeryoke.cluster.reservations.priority_shedding import CapacityClaim, CapacityShares, split
+from badgeryoke.cluster.state_machine.part import ApplyResult, Command, LeaderView
 from badgeryoke.cluster.timings import Timings
 
 T = Timings()
@@ -62,25 +62,25 @@
 QUICK = settings(max_examples=20, deadline=None, derandomize=True, suppress_health_check=list(HealthCheck))
 
 
-def terms(rate: float, begin: float, end: float, tenant: str = "dealer", **more: Any) -> Terms:
+def terms(rate: float, begin: float, end: float, tenant: str = "dealer", **more: Any) -> ContractTerms:
     window = Window(begin, end, more.pop("every_ms", 0.0), more.pop("until_ms", 0.0))
-    return Terms(
+    return ContractTerms(
         tenant=tenant, customers=(1, 2), rate=rate, burst=more.pop("burst", 30.0), windows=(window,), **more
     )
 
 
-def made(units: float = 100.0, reserve: float = 0.0, others: float = 0.0) -> Contracts:
-    part = Contracts(T, Invariants())
-    assert part.apply(0.0, Capacity(id="c", units=units, reserve=reserve, floor=others)).error is None
+def made(units: float = 100.0, reserve: float = 0.0, others: float = 0.0) -> ContractRegistry:
+    part = ContractRegistry(T, Invariants())
+    assert part.apply(0.0, SetCapacity(id="c", units=units, reserve=reserve, floor=others)).error is None
     return part
 
 
-def propose(part: Contracts, at: float, name: str, asked: Terms) -> Applied:
-    return part.apply(at, Propose(id=name, contract=name, terms=asked))
+def propose(part: ContractRegistry, at: float, name: str, asked: ContractTerms) -> ApplyResult:
+    return part.apply(at, ProposeContract(id=name, contract=name, terms=asked))
 
 
-def look(now: float) -> View:
-    return View(now, now, "m/1", 0.0, T, frozenset(), {}, {}, {}, {}, {})
+def look(now: float) -> LeaderView:
+    return LeaderView(now, now, "m/1", 0.0, T, frozenset(), {}, {}, {}, {}, {})
 
 
 def again(part: Any) -> Any:
@@ -99,15 +99,15 @@
     part = made(100.0, reserve=0.2, others=10.0)  # 70 may be promised
     assert propose(part, 1.0, "a", terms(60.0, 10_000.0, 20_000.0)).error is None
     refused = propose(part, 1.0, "b", terms(40.0, 15_000.0, 30_000.0)).error
-    assert isinstance(refused, NoRoom) and refused.fits == pytest.approx(10.0)
+    assert isinstance(refused, InsufficientCapacity) and refused.fits == pytest.approx(10.0)
     assert refused.fits_from_ms == pytest.approx(20_000.0 + TAIL)  # a lease may outlast its window so long
     assert propose(part, 1.0, "b", terms(10.0, 15_000.0, 30_000.0)).error is None
     never = propose(part, 1.0, "c", terms(71.0, 15_000.0, 30_000.0)).error
-    assert isinstance(never, NoRoom) and never.fits_from_ms == 0.0
+    assert isinstance(never, InsufficientCapacity) and never.fits_from_ms == 0.0
     # Every day for three days, of which the second is taken by another.
     assert propose(part, 1.0, "d", terms(60.0, 100_000.0, 110_000.0)).error is None
     daily = terms(20.0, 60_000.0, 70_000.0, every_ms=40_000.0, until_ms=150_000.0)
-    assert isinstance(propose(part, 1.0, "e", daily).error, NoRoom)
+    assert isinstance(propose(part, 1.0, "e", daily).error, InsufficientCapacity)
 
 
 @pytest.mark.parametrize(
@@ -124,15 +124,15 @@
         (terms(1.0, 10.0, 20.0, every_ms=20.0, until_ms=1e9), "windows"),
     ],
 )
-def test_what_is_wrong_is_named_and_changes_nothing(asked: Terms, key: str) -> None:
+def test_what_is_wrong_is_named_and_changes_nothing(asked: ContractTerms, key: str) -> None:
     part = made()
     before = part.dump()
     error = propose(part, 5.0, "a", asked).error
-    assert isinstance(error, BadCall) and key in error.what and part.dump() == before
+    assert isinstance(error, InvalidCall) and key in error.what and part.dump() == before
 
 
 def test_a_contract_goes_its_way_and_a_window_comes_again() -> None:
-    part, groups = made(), Floors(T, Invariants())
+    part, groups = made(), GuaranteedRates(T, Invariants())
     assert (
         propose(part, 1.0, "a", terms(60.0, 20_000.0, 30_000.0, every_ms=60_000.0, until_ms=100_000.0)).error
         is None
@@ -144,7 +144,10 @@
         if at == 22_000:
             for units in (3.0, 3.0, 5.0):
                 part.apply(
-                    at, Short(id="s", contract="a", by="g", cause="load", units=units, since_ms=21_000.0)
+                    at,
+                    ReportShortfall(
+                        id="s", contract="a", by="g", cause="load", units=units, since_ms=21_000.0
+                    ),
                 )
         state = part.held["a"].state.value
         if not seen or seen[-1] != state:
@@ -162,36 +165,41 @@
         "closing",
         "settled",
     ]
-    facts = part.look(ContractsRead(id="r")).value["contracts"]["a"]
+    facts = part.look(ReadContracts(id="r")).value["contracts"]["a"]
     assert facts["short"] == {"load": 5.0} and facts["since_ms"] == 21_000.0  # totals: a repeat adds nothing
-    assert again(part).look(ContractsRead(id="r")).value["contracts"]["a"] == facts
+    assert again(part).look(ReadContracts(id="r")).value["contracts"]["a"] == facts
 
 
 def test_a_cancelled_one_frees_its_room_when_the_tenants_group_has_told() -> None:
     part = made()
     propose(part, 0.0, "a", terms(100.0, 1_000.0, 90_000.0))
-    (opened,) = [one for one in part.work(look(0.0)) if isinstance(one, Open)]
-    part.apply(10.0, Told(id="t", contract="a", version=opened.version))
+    (opened,) = [one for one in part.work(look(0.0)) if isinstance(one, OpenContract)]
+    part.apply(10.0, VersionDrained(id="t", contract="a", version=opened.version))
     assert part.apply(20_000.0, CancelContract(id="x", contract="a")).error is None
     assert isinstance(part.apply(20_000.0, CancelContract(id="y", contract="a")).error, WrongState)
     late = terms(50.0, 60_000.0, 70_000.0)
-    assert isinstance(propose(part, 50_000.0, "b", late).error, NoRoom)
+    assert isinstance(propose(part, 50_000.0, "b", late).error, InsufficientCapacity)
     last = part.held["a"].newest.number
-    part.apply(50_000.0, Told(id="u", contract="a", version=last))
+    part.apply(50_000.0, VersionDrained(id="u", contract="a", version=last))
     assert propose(part, 50_001.0, "b", late).error is None and part.held["a"].state.value == "settled"
-    soon = part.apply(50_002.0, Change(id="z", contract="b", terms=late, holds_from_ms=50_002.0 + TAIL)).error
-    assert isinstance(soon, BadCall) and "holds_from_ms" in soon.what
-    assert isinstance(part.apply(50_002.0, CancelContract(id="x", contract="no")).error, NotThere)
+    soon = part.apply(
+        50_002.0, ChangeContract(id="z", contract="b", terms=late, holds_from_ms=50_002.0 + TAIL)
+    ).error
+    assert isinstance(soon, InvalidCall) and "holds_from_ms" in soon.what
+    assert isinstance(part.apply(50_002.0, CancelContract(id="x", contract="no")).error, NotFound)
 
 
 def test_less_capacity_takes_nothing_back_and_admits_nothing() -> None:
     part = made()
     propose(part, 0.0, "a", terms(90.0, 1_000.0, 90_000.0))
-    told = part.apply(1.0, Capacity(id="d", units=50.0, reserve=0.0, floor=0.0))
+    told = part.apply(1.0, SetCapacity(id="d", units=50.0, reserve=0.0, floor=0.0))
     assert told.value == {"available": 50.0, "over": 40.0}
-    assert isinstance(propose(part, 2.0, "b", terms(1.0, 1_000.0, 2_000.0)).error, NoRoom)
+    assert isinstance(propose(part, 2.0, "b", terms(1.0, 1_000.0, 2_000.0)).error, InsufficientCapacity)
     less = terms(40.0, 1_000.0, 90_000.0)
-    assert part.apply(3.0, Change(id="e", contract="a", terms=less, holds_from_ms=20_000.0)).error is None
+    assert (
+        part.apply(3.0, ChangeContract(id="e", contract="a", terms=less, holds_from_ms=20_000.0)).error
+        is None
+    )
 
 
 @QUICK
@@ -215,7 +223,7 @@
             until_ms=begin * 1e3 + every * turns + 1.0 if turns else 0.0,
         )
         got = propose(part, 0.0, str(number), one).error
-        if isinstance(got, NoRoom) and got.fits > 1.0:  # what it says would fit does
+        if isinstance(got, InsufficientCapacity) and got.fits > 1.0:  # what it says would fit does
             one = replace_rate(one, got.fits * 0.999)
             got = propose(part, 0.0, f"{number}b", one).error
             assert got is None
@@ -225,7 +233,7 @@
         assert sum(rate for begin, end, rate in held if begin <= at < end) <= 100.0 + 1e-6
 
 
-def replace_rate(one: Terms, rate: float) -> Terms:
+def replace_rate(one: ContractTerms, rate: float) -> ContractTerms:
     return msgspec.structs.replace(one, rate=rate)
 
 
@@ -244,7 +252,7 @@
     )
     def begin(self, whole: float, depth: float, step: float) -> None:
         self.checks = Invariants()
-        self.one = Divided(whole, depth, step, even=step > 0)
+        self.one = LeasePool(whole, depth, step, even=step > 0)
         self.mine: dict[str, tuple[int, float, float, float]] = {}  # number, part, cap, units in the bucket
         self.was = depth
 
@@ -266,12 +274,12 @@
         holds = cap * hold
         room = max(level - holds, 0.0)
         if stale:
-            assert isinstance(self.one.ask(who, number + 1, 0.0, wish, 0.0, self.checks), LeaseOver)
+            assert isinstance(self.one.ask(who, number + 1, 0.0, wish, 0.0, self.checks), LeaseExpired)
             return
         keeps = float(int(part * keep)) if self.one.step else part * keep
         need = max(holds - level, 0.0) if number else self.one.depth
         got = self.one.ask(who, number, keeps, wish, room, self.checks, holds, need, soft)
-        assert isinstance(got, Grant)
+        assert isinstance(got, LeaseGrant)
         assert got.part >= keeps - 1e-9 and got.cap >= min(holds, level - room) - 1e-9
         if got.number:
             self.mine[who] = got.number, got.part, got.cap, level - room + got.room
@@ -292,7 +300,7 @@
 
     @rule()
     def restart(self) -> None:
-        self.one = Divided.load(msgspec.msgpack.decode(msgspec.msgpack.encode(self.one.dump())))
+        self.one = LeasePool.load(msgspec.msgpack.decode(msgspec.msgpack.encode(self.one.dump())))
 
     @invariant()
     def holds(self) -> None:
@@ -301,7 +309,7 @@
         assert sum(part for _, part, _, _ in self.mine.values()) <= self.one.whole + 1e-6
         units = self.one.free + sum(level for *_, level in self.mine.values())
         if units > self.was + 1e-6:
-            raise Broken(Rule.PARTS_IN_WHOLE, f"{units:g} units where there were {self.was:g}")
+            raise InvariantViolation(Rule.PARTS_IN_WHOLE, f"{units:g} units where there were {self.was:g}")
         self.was = units
         assert self.one.free + sum(cap for _, _, cap, _ in self.mine.values()) <= self.one.depth + 1e-6
 
@@ -311,7 +319,7 @@
 
 
 def test_where_wishes_pass_the_whole_parts_are_even_or_in_proportion() -> None:
-    even, rates = Divided(12.0, step=1.0), Divided(12.0, even=False)
+    even, rates = LeasePool(12.0, step=1.0), LeasePool(12.0, even=False)
     for one in (even, rates):
         for who, wish in (("a", 20.0), ("b", 2.0), ("c", 10.0)):
             one.ask(who, 0, 0.0, wish, 0.0, Invariants())
@@ -348,14 +356,14 @@
         self.begin, self.end = 3000.0, 3000.0 + length
         self.rules = Invariants()
         self.part, self.timings = made(300.0), ROUGH if rough else T
-        self.copies = [Floors(self.timings, self.rules), Floors(self.timings, self.rules)]
+        self.copies = [GuaranteedRates(self.timings, self.rules), GuaranteedRates(self.timings, self.rules)]
         self.lead = 0
         drift = self.timings.clock_drift if rough else 0.0
         self.fast = 1.0 + drift
         self.clocks = [
             (self.draw.uniform(0.0, 1e5), self.draw.choice([1 - drift, 1.0, 1 + drift])) for _ in range(5)
         ]
-        self.floors = [Floor(f"g{n}/1", "p", self.timings) for n in range(5)]
+        self.floors = [ReservationClient(f"g{n}/1", "p", self.timings) for n in range(5)]
         self.frozen, self.cut = [0.0] * 5, [0.0] * 5  # until when
         self.drawn = [0.0, 0.0]  # the referee's bucket: level, and as of when
         self.most = 0.0
@@ -402,7 +410,7 @@
                 self.draw.uniform(1.0, 4.0) if not self.rough else self.draw.choice([2.0, 5.0, 30.0, 400.0])
             )
 
-        def done(result: Applied | FleetError) -> None:
+        def done(result: ApplyResult | ClusterError) -> None:
             if self.t < self.frozen[n]:
                 self.at(self.frozen[n], lambda: done(result))
             else:
@@ -422,7 +430,7 @@
         else:
             self.at(self.t + wire(), arrive)
 
-    def apply(self, command: Command) -> Applied:
+    def apply(self, command: Command) -> ApplyResult:
         if command.key() == "":
             return self.part.look(command) if command.reads else self.part.apply(self.t, command)
         results = [copy.apply(self.t, command) for copy in self.copies]
@@ -452,7 +460,7 @@
         held = sum(one.held(self.now(n)) for n, one in enumerate(self.floors) if self.t >= self.frozen[n])
         self.most = max(self.most, held)
         if held > self.rate + 1e-6:
-            raise Broken(Rule.LEASE_ONCE, f"{held:g} of {self.rate:g} in use at {self.t:g}")
+            raise InvariantViolation(Rule.LEASE_ONCE, f"{held:g} of {self.rate:g} in use at {self.t:g}")
 
     def ask(self, n: int, units: float = 1.0) -> bool:
         """One request of the tenant at a gateway; whether it was served at once."""
@@ -468,7 +476,7 @@
         rate = self.rate * (1.0 + self.timings.clock_drift) / 1000.0
         self.drawn = [max(level - (self.t - since) * rate, 0.0) + units, self.t]
         if self.drawn[0] > self.burst + 1.0 + 1e-6:
-            raise Broken(
+            raise InvariantViolation(
                 Rule.PARTS_IN_WHOLE, f"{self.drawn[0]:g} units above the rate, {self.burst:g} may be"
             )
 
@@ -496,41 +504,41 @@
 
 
 def from_the_answer(patch: pytest.MonkeyPatch) -> None:
-    real = Floor._answered
+    real = ReservationClient._answered
 
-    def answered(self: Floor, now: float, one: Any, error: Any, value: Any) -> None:
+    def answered(self: ReservationClient, now: float, one: Any, error: Any, value: Any) -> None:
         one.asked = now
         real(self, now, one, error, value)
 
-    patch.setattr(Floor, "_answered", answered)
+    patch.setattr(ReservationClient, "_answered", answered)
 
 
 def grows_first(patch: pytest.MonkeyPatch) -> None:
-    real = Floor._ask
+    real = ReservationClient._ask
 
-    def ask(self: Floor, now: float, one: Any, *more: Any) -> Lease:
+    def ask(self: ReservationClient, now: float, one: Any, *more: Any) -> RequestLease:
         part = one.part
         made = real(self, now, one, *more)
         one.part = part  # it has not shrunk before it says so
         return made
 
-    patch.setattr(Floor, "_ask", ask)
+    patch.setattr(ReservationClient, "_ask", ask)
 
 
 def twice(patch: pytest.MonkeyPatch) -> None:
-    real = Divided.ask
+    real = LeasePool.ask
 
-    def ask(self: Divided, who: str, number: int, keep: float, wish: float, room: float, *more: Any) -> Any:
+    def ask(self: LeasePool, who: str, number: int, keep: float, wish: float, room: float, *more: Any) -> Any:
         if room > 0.0 and number == getattr(self.held.get(who), "number", 0):
             self.free += room
         return real(self, who, number, keep, wish, room, *more)
 
-    patch.setattr(Divided, "ask", ask)
+    patch.setattr(LeasePool, "ask", ask)
 
 
 def unseen(patch: pytest.MonkeyPatch) -> None:
     patch.setattr(
-        Divided,
+        LeasePool,
         "over",
         lambda self, now, outlast, since: [
             (who, one.number)
@@ -538,19 +546,19 @@
             if one.seen == math.inf or now - one.seen >= outlast
         ],
     )
-    patch.setattr(Floors, "seen", lambda self, now: None)
+    patch.setattr(GuaranteedRates, "seen", lambda self, now: None)
 
 
 def freed_early(patch: pytest.MonkeyPatch) -> None:
-    real = Contracts._change
+    real = ContractRegistry._change
 
-    def change(self: Contracts, at_ms: float, name: str, *more: Any) -> Applied:
+    def change(self: ContractRegistry, at_ms: float, name: str, *more: Any) -> ApplyResult:
         result = real(self, at_ms, name, *more)
         if result.error is None:
             del self.held[name].versions[0]
         return result
 
-    patch.setattr(Contracts, "_change", change)
+    patch.setattr(ContractRegistry, "_change", change)
 
 
 def units_days(seeds: range) -> None:
@@ -574,7 +582,7 @@
     """Contracts proposed, changed and cancelled at random; Opens and Tolds late; holders that use all they
     may."""
     for seed in seeds:
-        draw, part, groups = Random(seed), made(100.0), Floors(T, Invariants())
+        draw, part, groups = Random(seed), made(100.0), GuaranteedRates(T, Invariants())
         uses: dict[tuple[str, str], list[float]] = {}  # contract, holder: number, part, ends, until, then
         post: list[tuple[float, Command]] = []
         for at in range(0, 60_000, 100):
@@ -587,7 +595,7 @@
                 now = part.held[name].newest.terms
                 part.apply(
                     at,
-                    Change(
+                    ChangeContract(
                         id=f"h{at}",
                         contract=name,
                         holds_from_ms=at + 2 * TAIL + draw.choice([1, 3000]),
@@ -610,7 +618,7 @@
                         keep = now_used(use, at)
                         got = groups.apply(
                             at,
-                            Lease(
+                            RequestLease(
                                 id=f"{at}{who}",
                                 tenant="dealer",
                                 contract=contract_name,
@@ -629,7 +637,7 @@
                         )
             total = sum(now_used(use, at) for use in uses.values())
             if total > 100.0 + 1e-6:
-                raise Broken(Rule.CONTRACTS_FIT, f"{total:g} of 100 in use at {at}")
+                raise InvariantViolation(Rule.CONTRACTS_FIT, f"{total:g} of 100 in use at {at}")
             if draw.random() < 0.01:
                 part, groups = again(part), again(groups)
 
@@ -661,7 +669,7 @@
     found: set[Rule],
 ) -> None:
     fault(monkeypatch)
-    with pytest.raises(Broken) as caught:
+    with pytest.raises(InvariantViolation) as caught:
         days(range(12))
     assert caught.value.rule in found
 
@@ -760,13 +768,13 @@
     town.floors[1].failed(town.now(1), got, "load")
     town.run(9000.0)
     assert town.part.held["p"].short == {"load": {"g1/1#p": 2.0}}
-    assert town.part.apply(town.t, Pass(id="p")).error is None
+    assert town.part.apply(town.t, AdvanceContracts(id="p")).error is None
 
 
-def claims() -> Iterator[Claim]:
-    yield Claim("vital", 1, 30.0, 40.0)
-    yield Claim("one", 2, 60.0, 40.0)
-    yield Claim("two", 2, 20.0, 20.0)
+def claims() -> Iterator[CapacityClaim]:
+    yield CapacityClaim("vital", 1, 30.0, 40.0)
+    yield CapacityClaim("one", 2, 60.0, 40.0)
+    yield CapacityClaim("two", 2, 20.0, 20.0)
 
 
 @pytest.mark.parametrize(
@@ -782,7 +790,7 @@
     got = split(capacity, claims())
     assert (*got.contracts.values(), got.others) == pytest.approx(kept)
     assert sum(got.short.values()) == pytest.approx(90.0 - sum(kept[:3]))
-    share = Share()
+    share = CapacityShares()
     share.set(0.0, capacity, claims())
     sent = dict.fromkeys(("vital", "one", "two", ""), 0.0)
     for tick in range(10_000):
@@ -793,7 +801,7 @@
 
 def test_the_leases_module_is_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(lease_pool, "MOST_HOLDERS", 16)
-    one = Divided(1.0)
+    one = LeasePool(1.0)
     for n in range(lease_pool.MOST_HOLDERS):
         one.ask(str(n), 0, 0.0, 1.0, 0.0, Invariants())
-    assert isinstance(one.ask("x", 0, 0.0, 1.0, 0.0, Invariants()), BadCall)
+    assert isinstance(one.ask("x", 0, 0.0, 1.0, 0.0, Invariants()), InvalidCall)
--- a/tests/cluster/test_behaviour_digests.py
+++ b/tests/cluster/test_behaviour_digests.py
@@ -1,4 +1,5 @@
-"""Digests of the cluster part's behaviour, recorded once: a change that only renames or moves leaves each as it is."""
+"""Digests of the cluster part's behaviour, recorded once: a change that only renames or moves leaves each
+as it is."""
 
 from __future__ import annotations
 
@@ -8,127 +9,133 @@
 
 import pytest
 
-from badgeryoke.cluster.bootstrap import Record
+from badgeryoke.cluster.bootstrap import BootstrapRecord
 from badgeryoke.cluster.connection_limits import (
     MOST_LIMIT,
-    Connections,
-    ConnEnd,
-    ConnLeases,
-    Keeper,
-    Limit,
-    Unlimit,
+    ConnectionLeaseHolder,
+    ConnectionLimits,
+    ReleaseConnectionLeases,
+    RemoveConnectionLimit,
+    RequestConnectionLeases,
+    SetConnectionLimit,
     bucket,
     process,
 )
-from badgeryoke.cluster.connection_limits import Ask as ConnAsk
-from badgeryoke.cluster.errors import NoLeader, StoreFailed, UnknownOutcome
+from badgeryoke.cluster.connection_limits import ConnectionLeaseRequest as ConnAsk
+from badgeryoke.cluster.errors import NoLeader, StorageFailed, UnknownOutcome
 from badgeryoke.cluster.events import (
-    Call,
-    HandOver,
-    Leave,
+    ChangeMembership as ChangeMembers,
+)
+from badgeryoke.cluster.events import (
+    ClusterCall,
+    LeaveCluster,
+    MessageReceived,
     NodeEvent,
-    Read,
-    Received,
+    PersistedGroup,
+    PersistRecords,
+    ReadIndexRequest,
+    RecordsPersisted,
     ReplicaEvent,
-    Saved,
-    Send,
+    SendMessage,
     Snapshot,
-    Store,
-    StoreBroke,
-    Stored,
+    StorageFailure,
     Tick,
+    TransferLeadership,
 )
-from badgeryoke.cluster.events import (
-    Change as ChangeMembers,
-)
-from badgeryoke.cluster.events import Propose as ProposeEntry
+from badgeryoke.cluster.events import ProposeCommand as ProposeEntry
 from badgeryoke.cluster.invariants import Invariants
-from badgeryoke.cluster.key_value import Promise, PromiseRead
-from badgeryoke.cluster.leases.lease_pool import Divided
+from badgeryoke.cluster.key_value import PutValue, ReadValue
+from badgeryoke.cluster.leases.lease_pool import LeasePool
 from badgeryoke.cluster.membership.protocol import Membership
 from badgeryoke.cluster.messages import (
     COMMAND,
     CONFIG,
-    Append,
-    Appended,
-    Ask,
-    Config,
-    Entry,
-    Forward,
-    Found,
-    IAm,
-    Id,
-    Lead,
+    Announce,
+    AppendEntries,
+    AppendEntriesReply,
+    ClusterFounded,
+    ForwardedCall,
+    ForwardedReply,
+    GossipUpdate,
+    GroupConfiguration,
+    IdentityQuery,
+    InstallSnapshotChunk,
+    InstallSnapshotChunkReply,
+    LogEntry,
+    MemberId,
     Nack,
-    Piece,
-    PieceTaken,
     Ping,
-    PingFor,
-    Reply,
-    Rumour,
-    Vote,
-    WhoAreYou,
+    PingRequest,
+    RequestVote,
+    RequestVoteReply,
+    TimeoutNow,
 )
-from badgeryoke.cluster.node import Node
-from badgeryoke.cluster.node_setup import Setup
+from badgeryoke.cluster.node import ClusterNode
+from badgeryoke.cluster.node_setup import NodeSetup
 from badgeryoke.cluster.placement.directory import (
-    Enrol,
-    Forgo,
-    Moved,
-    Places,
-    Replace,
+    CancelMove,
+    EnrolMember,
+    ReadPlacement,
+    ReplaceReplica,
+    ReplicaMoved,
     copies_for,
     first_placing,
     forced,
     group_of,
 )
 from badgeryoke.cluster.raft.log import encode_config
-from badgeryoke.cluster.raft.node import MOST_BODY, Replica
+from badgeryoke.cluster.raft.node import MOST_BODY, RaftNode
 from badgeryoke.cluster.reservations.contract import (
+    AdvanceContracts,
     CancelContract,
-    Capacity,
-    Change,
-    ContractsKnown,
-    ContractsRead,
-    EndLease,
-    Lease,
-    Open,
-    Pass,
-    Propose,
-    Short,
-    Terms,
-    Told,
-    TurnFloor,
-    Used,
+    ChangeContract,
+    ContractTerms,
+    OpenContract,
+    PollContracts,
+    ProposeContract,
+    ReadContracts,
+    ReleaseLease,
+    ReportShortfall,
+    ReportUsage,
+    RequestLease,
+    SetCapacity,
+    SwitchVersion,
+    VersionDrained,
     Window,
     spans,
 )
-from badgeryoke.cluster.reservations.lease_client import Floor, Reserved
-from badgeryoke.cluster.reservations.priority_shedding import Claim as ShareClaim
-from badgeryoke.cluster.reservations.priority_shedding import Share
+from badgeryoke.cluster.reservations.lease_client import ReservationClient, ReservedUnits
+from badgeryoke.cluster.reservations.priority_shedding import CapacityClaim as ShareClaim
+from badgeryoke.cluster.reservations.priority_shedding import CapacityShares
 from badgeryoke.cluster.rolling_restart.restart import (
     REPORTS,
-    Facts,
-    RollAsk,
-    RollCancel,
-    Rolled,
-    RollRead,
-    RollReport,
-    RollResume,
-    Rolls,
-    RollsRead,
-    RollStep,
-    RollTurn,
-    RollWave,
-    Stand,
-    Step,
-    Turn,
+    CancelRollingRestart,
+    ClusterConditions,
+    GatewayEvent,
+    GatewayPhase,
+    ReadDesiredState,
+    ReadRollingRestarts,
+    RecordGatewayEvent,
+    RecordRestartEvent,
+    ReportGateway,
+    RestartEvent,
+    ResumeGateway,
+    RollingRestartAgent,
+    RollingRestarts,
+    StartRollingRestart,
+    StartWave,
     least_ms,
 )
-from badgeryoke.cluster.state_machine.machine import GroupState, command_from, encode
-from badgeryoke.cluster.state_machine.part import FLEET, Command, View
+from badgeryoke.cluster.state_machine.machine import GroupStateMachine, command_from, encode
+from badgeryoke.cluster.state_machine.part import FLEET, Command, LeaderView
 from badgeryoke.cluster.timings import Timings, faults
-from badgeryoke.cluster.unreported_usage import Claim, Line, Owe, OwedRead, OwedTold
+from badgeryoke.cluster.unreported_usage import (
+    ClaimUsage,
+    ConfirmUsageReported,
+    ReadUnreportedUsage,
+    RecordUsage,
+    UsageLine,
+)
 from badgeryoke.testbed.cluster_simulation.fault_plan import Plan
 from badgeryoke.testbed.cluster_simulation.generated_plans import play, play_seed
 from badgeryoke.testbed.cluster_simulation.world import FleetWorld
@@ -141,6 +148,7 @@
     add_effects,
     add_state,
     applied_values,
+    broken_values,
     check,
     command_values,
     saved_values,
@@ -151,13 +159,14 @@
 START = 1_700_000_000_000.0  # Unix ms
 
 
-# Raft replica ---------------------------------------------------------------------------------------------------------
+# Raft replica
+# ---------------------------------------------------------------------------------------------------------
 
 
-def recorded_replica(digest: Digest) -> type[Replica]:
+def recorded_replica(digest: Digest) -> type[RaftNode]:
     """A replica whose events and effects go into a digest."""
 
-    class Recorded(Replica):
+    class Recorded(RaftNode):
         def handle(self, now: float, event: ReplicaEvent) -> list[Any]:
             digest.add((now, str(self.me), event))
             effects = super().handle(now, event)
@@ -193,8 +202,8 @@
         assert site.replica is not None
         digest.add(site.replica.status(world.now))
         if at % 2:
-            site.replica.handle(world.now, StoreBroke(StoreFailed("g", "the disk is full")))
-        site.replica.handle(world.now, Read("late-read"))
+            site.replica.handle(world.now, StorageFailure(StorageFailed("g", "the disk is full")))
+        site.replica.handle(world.now, ReadIndexRequest("late-read"))
         site.replica.handle(world.now, ProposeEntry("late", b"x"))
         digest.add(site.replica.forget())
         digest.add(site.replica.status(world.now))
@@ -221,11 +230,11 @@
 class Strangers:
     """Draws messages and calls to one replica, likely ones and absurd ones."""
 
-    def __init__(self, draw: random.Random, replica: Replica, names: tuple[Id, ...]) -> None:
+    def __init__(self, draw: random.Random, replica: RaftNode, names: tuple[MemberId, ...]) -> None:
         self.draw, self.replica, self.names = draw, replica, names
         self.tokens = 0
         self.friendly = False
-        self.answers: list[Received] = []  # on their way to the replica
+        self.answers: list[MessageReceived] = []  # on their way to the replica
 
     def term(self) -> int:
         return max(self.replica.term + self.draw.choice((0, 0, 0, 0, 0, 0, 1, -1)), 0)
@@ -238,27 +247,30 @@
         self.tokens += 1
         return f"t{self.tokens}"
 
-    def entries(self, previous: int, term: int) -> tuple[Entry, ...]:
+    def entries(self, previous: int, term: int) -> tuple[LogEntry, ...]:
         made = tuple(
-            Entry(previous + 1 + at, term, COMMAND, f"e{previous}-{at}".encode())
+            LogEntry(previous + 1 + at, term, COMMAND, f"e{previous}-{at}".encode())
             for at in range(self.draw.choice((0, 0, 1, 2, 3)))
         )
         if made and self.draw.random() < 0.1:
             voters = self.names[: self.draw.randint(2, len(self.names))]
-            made = (*made[:-1], Entry(made[-1].index, term, CONFIG, encode_config(Config(voters))))
+            made = (
+                *made[:-1],
+                LogEntry(made[-1].index, term, CONFIG, encode_config(GroupConfiguration(voters))),
+            )
         return made
 
     def message(self) -> Any:
         draw, term, index = self.draw, self.term(), self.index()
         kind = draw.choices(range(7), (14, 14, 25, 25, 6, 3, 4))[0]
         if kind == 0:
-            return Ask(
+            return RequestVote(
                 "g", term, index, draw.choice((term, term - 1, 0)), draw.random() < 0.5, draw.random() < 0.2
             )
         if kind == 1:
-            return Vote("g", term, draw.random() < 0.8, draw.random() < 0.5)
+            return RequestVoteReply("g", term, draw.random() < 0.8, draw.random() < 0.5)
         if kind == 2:
-            return Append(
+            return AppendEntries(
                 "g",
                 term,
                 index,
@@ -268,42 +280,44 @@
                 draw.randint(0, 20),
             )
         if kind == 3:
-            return Appended("g", term, draw.random() < 0.8, index, draw.randint(0, 40))
+            return AppendEntriesReply("g", term, draw.random() < 0.8, index, draw.randint(0, 40))
         if kind == 4:
             size = draw.choice((0, 4, 8))
             offset = draw.choice((0, 0, 4))
-            return Piece(
+            return InstallSnapshotChunk(
                 "g",
                 term,
                 index + draw.randint(0, 4),
                 term,
-                Config(self.names[:3]),
+                GroupConfiguration(self.names[:3]),
                 offset,
                 size,
                 b"a|b|c|d|"[offset : offset + 4],
                 draw.randint(0, 20),
             )
         if kind == 5:
-            return PieceTaken("g", term, index, draw.randint(0, 60), draw.randint(0, 20))
-        return Lead("g", term)
+            return InstallSnapshotChunkReply("g", term, index, draw.randint(0, 60), draw.randint(0, 20))
+        return TimeoutNow("g", term)
 
-    def answer(self, sent: Send) -> Received | None:
+    def answer(self, sent: SendMessage) -> MessageReceived | None:
         """What a member that follows in good faith would say."""
         message = sent.message
         match message:
-            case Ask():
-                return Received(sent.to, Vote("g", message.term, True, message.pre))
-            case Append():
+            case RequestVote():
+                return MessageReceived(sent.to, RequestVoteReply("g", message.term, True, message.pre))
+            case AppendEntries():
                 last = message.previous + len(message.entries)
                 if self.draw.random() < 0.1:
-                    return Received(
-                        sent.to, Appended("g", message.term, False, max(last - 3, 0), message.round)
+                    return MessageReceived(
+                        sent.to, AppendEntriesReply("g", message.term, False, max(last - 3, 0), message.round)
                     )
-                return Received(sent.to, Appended("g", message.term, True, last, message.round))
-            case Piece():
-                return Received(
+                return MessageReceived(
+                    sent.to, AppendEntriesReply("g", message.term, True, last, message.round)
+                )
+            case InstallSnapshotChunk():
+                return MessageReceived(
                     sent.to,
-                    PieceTaken(
+                    InstallSnapshotChunkReply(
                         "g", message.term, message.index, message.offset + len(message.body), message.round
                     ),
                 )
@@ -318,19 +332,19 @@
         if chance < 0.3:
             return Tick()
         if chance < 0.55 and seqs:
-            return Stored("g", seqs.pop(0))
+            return RecordsPersisted("g", seqs.pop(0))
         if chance < 0.85:
-            return Received(draw.choice(self.names), self.message())
+            return MessageReceived(draw.choice(self.names), self.message())
         if chance < 0.93:
             body = b"x" * (MOST_BODY + 1) if draw.random() < 0.02 else f"p{self.tokens}".encode()
             return ProposeEntry(self.token(), body)
         if chance < 0.96:
-            return Read(self.token())
+            return ReadIndexRequest(self.token())
         if chance < 0.99:
             return ChangeMembers(
                 self.token(), draw.choice(("learn", "promote", "remove", "dance")), draw.choice(self.names)
             )
-        return HandOver(draw.choice((*self.names, "")))
+        return TransferLeadership(draw.choice((*self.names, "")))
 
 
 @pytest.mark.parametrize("seed", range(24), ids="strangers-{}".format)
@@ -338,8 +352,8 @@
     """Messages that no group would send, with breaches of the invariants noted and not raised."""
     digest, draw = Digest(), random.Random(2000 + seed)
     names = tuple(f"{name}/1" for name in "abcde")
-    voters = Config(names[: draw.choice((1, 3, 3, 5))])
-    rules, saved, now = Invariants(strict=False), Saved(), 0.0
+    voters = GroupConfiguration(names[: draw.choice((1, 3, 3, 5))])
+    rules, saved, now = Invariants(strict=False), PersistedGroup(), 0.0
     for life in range(6):
         machine = Rows()
         replica = recorded_replica(digest)(
@@ -358,30 +372,35 @@
         for _ in range(150):
             now += draw.choice((0.0, 1.0, 5.0, 60.0, 300.0))
             for effect in replica.handle(now, strangers.event(seqs)):
-                if isinstance(effect, Store):
+                if isinstance(effect, PersistRecords):
                     seqs.append(effect.seq)
                     saved = write(saved, effect)
-                elif isinstance(effect, Send) and strangers.friendly and (said := strangers.answer(effect)):
+                elif (
+                    isinstance(effect, SendMessage)
+                    and strangers.friendly
+                    and (said := strangers.answer(effect))
+                ):
                     strangers.answers.append(said)
         digest.add(replica.status(now))
         digest.add(saved_values(saved, "g"))
-        digest.add((rules.count, [(rule, said) for rule, said in rules.broken]))
+        digest.add((rules.count, broken_values(rules)))
         if replica.stopped is not None:
-            saved, rules = Saved(), Invariants(strict=False)
+            saved, rules = PersistedGroup(), Invariants(strict=False)
     check(f"replica-strangers-{seed}", digest)
 
 
 def test_a_group_that_is_forced() -> None:
-    digest, config = Digest(), Config(("a/1", "b/1", "c/1"))
-    saved = Saved(
-        4, "b/1", Snapshot(3, 2, config, b"x"), (Entry(4, 3, COMMAND, b"y"), Entry(5, 4, COMMAND, b"z"))
+    digest, config = Digest(), GroupConfiguration(("a/1", "b/1", "c/1"))
+    saved = PersistedGroup(
+        4, "b/1", Snapshot(3, 2, config, b"x"), (LogEntry(4, 3, COMMAND, b"y"), LogEntry(5, 4, COMMAND, b"z"))
     )
     for lost in (("b/1", "c/1"), ("b/1",), (), ("c/1", "b/1"), ("b/1", "d/1")):
         digest.add(saved_values(forced(saved, "g", "a/1", lost, START), "g"))
     check("forced", digest)
 
 
-# Membership and founding ----------------------------------------------------------------------------------------------
+# Membership and founding
+# ----------------------------------------------------------------------------------------------
 
 
 class RecordedNet(Net):
@@ -435,14 +454,18 @@
         net.thaw(name)
 
 
-def odd_gossip(draw: random.Random, ids: list[Id]) -> Any:
+def odd_gossip(draw: random.Random, ids: list[MemberId]) -> Any:
     """A message of no member's."""
     rumours = tuple(
-        Rumour(draw.choice((*ids, "zz/1")), draw.randint(0, 3), draw.randint(0, 3), draw.choice((*ids, "")))
+        GossipUpdate(
+            draw.choice((*ids, "zz/1")), draw.randint(0, 3), draw.randint(0, 3), draw.choice((*ids, ""))
+        )
         for _ in range(3)
     )
     who, seq = draw.choice(ids), draw.randint(0, 9)
-    return draw.choice((Ping(seq, who, rumours, START), PingFor(seq, who, rumours), Nack(seq, who, rumours)))
+    return draw.choice(
+        (Ping(seq, who, rumours, START), PingRequest(seq, who, rumours), Nack(seq, who, rumours))
+    )
 
 
 @pytest.mark.parametrize(
@@ -466,7 +489,9 @@
         if up and draw.random() < 0.3:
             net.give(
                 draw.choice(up),
-                Received(draw.choice(list(net.ids.values())), odd_gossip(draw, list(net.ids.values()))),
+                MessageReceived(
+                    draw.choice(list(net.ids.values())), odd_gossip(draw, list(net.ids.values()))
+                ),
             )
         if len(up) > 2 and draw.random() < 0.1:
             leaver = draw.choice(up)
@@ -489,9 +514,11 @@
         net.run(net.now + draw.uniform(50.0, 900.0))
         if net.nodes and draw.random() < 0.4:
             name, sender = draw.choice(list(net.nodes)), draw.choice(list(net.ids.values()))
-            message = draw.choice((WhoAreYou("a"), IAm("a", b""), Found(b"junk"), IAm("b", b"\x91\x01")))
+            message = draw.choice(
+                (IdentityQuery("a"), Announce("a", b""), ClusterFounded(b"junk"), Announce("b", b"\x91\x01"))
+            )
             if name not in net.frozen:
-                net.give(name, Received(sender, message))
+                net.give(name, MessageReceived(sender, message))
     net.delay = lambda a, b: 1.0
     for name in names:
         if name in net.frozen:
@@ -501,14 +528,14 @@
     net.run(net.now + 15_000.0)
     for node in net.nodes.values():
         digest.add((node.record, node.founder, None if node.error is None else (node.error.code, node.error)))
-        node.handle(net.now, StoreBroke(StoreFailed("", "full")))
+        node.handle(net.now, StorageFailure(StorageFailed("", "full")))
     check(f"founding-{count}-{seed}", digest)
 
 
 def test_placing_by_hash() -> None:
     digest = Digest()
     for members in (1, 2, 3, 5, 8, 20):
-        record = Record(
+        record = BootstrapRecord(
             "yard", "f0", "m000/1", tuple((f"{one.name}/1", one.hall) for one in members_of(members)), 8, 5
         )
         digest.add(first_placing(record))
@@ -517,7 +544,8 @@
     check("placing", digest)
 
 
-# State machine parts --------------------------------------------------------------------------------------------------
+# State machine parts
+# --------------------------------------------------------------------------------------------------
 
 WHO = tuple(f"m{at:03}/{at}" for at in range(6))
 GATEWAYS = tuple(f"m{at:03}" for at in range(6))
@@ -552,7 +580,7 @@
             self.draw.uniform(0.0, most) if self.draw.random() < 0.97 else self.draw.choice((-1.0, 0.0, 1e12))
         )
 
-    def terms(self) -> Terms:
+    def terms(self) -> ContractTerms:
         draw = self.draw
         begin = self.at + draw.choice((500.0, 3000.0, 12_000.0, 20_000.0, 60_000.0, -100.0))
         length = draw.choice((0.0, 2000.0, 5000.0, 15_000.0, 15_000.0))
@@ -567,7 +595,7 @@
             windows.append(Window(begin + draw.choice((0.0, 100_000.0)), begin + 120_000.0))
         if draw.random() < 0.02:
             windows = []
-        return Terms(
+        return ContractTerms(
             draw.choice(("ta", "tb", "tc", "t d") if draw.random() < 0.1 else ("ta", "tb")),
             tuple(draw.sample(range(20), draw.randint(1, 3))) if draw.random() < 0.97 else (1, 1),
             self.figure(60.0),
@@ -585,7 +613,7 @@
         draw = self.draw
         kind = draw.randint(0, 23)
         if kind == 0:
-            return Capacity(
+            return SetCapacity(
                 id=self.id(),
                 units=self.figure(400.0),
                 reserve=draw.choice((0.0, 0.2, 0.2, 1.5)),
@@ -593,11 +621,11 @@
                 halls={"a": 80.0, "b": self.figure(200.0)},
             )
         if kind < 6:
-            return Propose(
+            return ProposeContract(
                 id=self.id(), contract=f"{self.contract()}{draw.choice(('', '-x', '-y'))}", terms=self.terms()
             )
         if kind == 6:
-            return Change(
+            return ChangeContract(
                 id=self.id(),
                 contract=self.contract(),
                 terms=self.terms(),
@@ -606,9 +634,9 @@
         if kind == 7:
             return CancelContract(id=self.id(), contract=self.contract())
         if kind in (8, 9):
-            return Told(id=self.id(), contract=self.contract(), version=draw.randint(0, 30))
+            return VersionDrained(id=self.id(), contract=self.contract(), version=draw.randint(0, 30))
         if kind in (10, 11):
-            return Short(
+            return ReportShortfall(
                 id=self.id(),
                 contract=self.contract(),
                 by=draw.choice(GATEWAYS),
@@ -617,12 +645,14 @@
                 since_ms=self.at - 1000.0,
             )
         if kind in (12, 13):
-            return Pass(id=self.id())
+            return AdvanceContracts(id=self.id())
         if kind == 14:
             name = draw.choice(GATEWAYS)
-            return Enrol(id=self.id(), name=name, who=f"{name}/{draw.randint(0, 8)}", hall=draw.choice("ab"))
+            return EnrolMember(
+                id=self.id(), name=name, who=f"{name}/{draw.randint(0, 8)}", hall=draw.choice("ab")
+            )
         if kind == 15:
-            return Replace(
+            return ReplaceReplica(
                 id=self.id(),
                 group=f"g{draw.randint(0, 4)}",
                 lost=draw.choice((*WHO, "")),
@@ -630,7 +660,7 @@
                 most=draw.randint(0, 3),
             )
         if kind == 16:
-            return Moved(
+            return ReplicaMoved(
                 id=self.id(),
                 group=f"g{draw.randint(0, 4)}",
                 number=draw.randint(0, 40),
@@ -638,12 +668,12 @@
                 behind=tuple(draw.sample(WHO, 1)),
             )
         if kind == 17:
-            return Forgo(id=self.id(), group=f"g{draw.randint(0, 4)}", new=draw.choice(WHO), why="w")
+            return CancelMove(id=self.id(), group=f"g{draw.randint(0, 4)}", new=draw.choice(WHO), why="w")
         return self.roll()
 
-    def facts(self) -> Facts:
+    def facts(self) -> ClusterConditions:
         draw = self.draw
-        return Facts(
+        return ClusterConditions(
             draw.choice((0, 0, 0, 1)),
             draw.choice((1, 1, 0, -1)),
             draw.choice((0, 0, 0, 1)),
@@ -655,7 +685,7 @@
         draw, roll = self.draw, f"r{self.draw.randint(0, 3)}"
         kind, name = draw.randint(0, 9), draw.choice(GATEWAYS)
         if kind in (0, 1):
-            return RollAsk(
+            return StartRollingRestart(
                 id=self.id(),
                 roll=roll,
                 gateways=tuple(draw.sample(GATEWAYS, draw.randint(0, 3))),
@@ -668,23 +698,23 @@
                 hall_may_go=draw.random() < 0.3,
             )
         if kind == 2:
-            return RollCancel(id=self.id(), roll=roll)
+            return CancelRollingRestart(id=self.id(), roll=roll)
         if kind == 3:
-            return RollResume(
+            return ResumeGateway(
                 id=self.id(), roll=roll, gateway=draw.choice(("", name)), force=draw.random() < 0.3
             )
         if kind == 4:
-            return RollTurn(
+            return RecordRestartEvent(
                 id=self.id(),
                 roll=roll,
                 stamp=draw.choice((self.stamp, self.stamp, 3)),
-                turn=draw.choice(list(Turn)).name,
+                turn=draw.choice(list(RestartEvent)).name,
                 why="w",
                 order=GATEWAYS[:3],
                 members=6,
             )
         if kind == 5:
-            return RollWave(
+            return StartWave(
                 id=self.id(),
                 roll=roll,
                 stamp=draw.choice((self.stamp, self.stamp, 3)),
@@ -692,16 +722,16 @@
                 facts=self.facts(),
             )
         if kind in (6, 7):
-            return RollStep(
+            return RecordGatewayEvent(
                 id=self.id(),
                 roll=roll,
                 gateway=name,
                 round=draw.randint(0, 2),
-                step=draw.choice(list(Step)).name,
+                step=draw.choice(list(GatewayEvent)).name,
                 facts=draw.choice((None, self.facts())),
                 stamp=draw.choice((self.stamp, self.stamp, -1)),
             )
-        return RollReport(
+        return ReportGateway(
             id=self.id(),
             roll=roll,
             gateway=name,
@@ -712,7 +742,7 @@
 
     def lease(self) -> Command:
         draw = self.draw
-        return Lease(
+        return RequestLease(
             id=self.id(),
             tenant="ta",
             contract=self.contract(),
@@ -734,17 +764,17 @@
         draw, server = self.draw, self.draw.choice(SERVERS)
         kind, where = draw.randint(0, 9), bucket(server)
         if kind == 0:
-            return Limit(
+            return SetConnectionLimit(
                 id=self.id(),
                 server=server,
                 most=draw.choice((1, 10, 25, 40, 0, MOST_LIMIT + 1)),
                 idle_ms=draw.choice((3000.0, 500.0, -1.0)),
             )
         if kind == 1 and draw.random() < 0.3:
-            return Unlimit(id=self.id(), server=server)
+            return RemoveConnectionLimit(id=self.id(), server=server)
         if kind == 2:
             holder = draw.choice(HOLDERS)
-            return ConnEnd(
+            return ReleaseConnectionLeases(
                 id=self.id(),
                 holder=holder,
                 bucket=where,
@@ -757,7 +787,7 @@
             for one in SERVERS
             if bucket(one) == where or draw.random() < 0.02
         )
-        return ConnLeases(
+        return RequestConnectionLeases(
             id=self.id(), holder=draw.choice(HOLDERS), bucket=where, asks=asks, fresh=draw.random() < 0.2
         )
 
@@ -768,7 +798,7 @@
         kind = draw.randint(0, 15)
         if kind < 2:
             begin = self.at + draw.choice((0.0, -100.0, 2000.0))
-            return Open(
+            return OpenContract(
                 id=self.id(),
                 tenant="ta",
                 contract=self.contract(),
@@ -782,7 +812,7 @@
             return self.lease()
         if kind < 10:
             first = int(self.at / 5.0)
-            return Used(
+            return ReportUsage(
                 id=self.id(),
                 tenant="ta",
                 contract=self.contract(),
@@ -793,7 +823,7 @@
                 ),
             )
         if kind == 10:
-            return EndLease(
+            return ReleaseLease(
                 id=self.id(),
                 tenant="ta",
                 contract=self.contract(),
@@ -801,18 +831,18 @@
                 number=self.number(),
             )
         if kind == 11:
-            return TurnFloor(id=self.id(), tenant="ta", contract=self.contract())
+            return SwitchVersion(id=self.id(), tenant="ta", contract=self.contract())
         batch = f"b{draw.randint(0, 40)}"
         if kind == 12:
-            return Promise(
+            return PutValue(
                 id=self.id(), name=draw.choice(("x", "y", "z", "")), value=draw.choice(("1", "2", "v" * 1025))
             )
         if kind == 13:
-            lines = tuple(Line(f"n{at}", self.figure(9.0), 1000.0) for at in range(draw.randint(0, 3)))
-            return Owe(id=batch, tenant=draw.choice(("ta", "tb")), by=draw.choice(WHO), lines=lines)
+            lines = tuple(UsageLine(f"n{at}", self.figure(9.0), 1000.0) for at in range(draw.randint(0, 3)))
+            return RecordUsage(id=batch, tenant=draw.choice(("ta", "tb")), by=draw.choice(WHO), lines=lines)
         if kind == 14:
-            return Claim(id=self.id(), tenant="ta", batch=batch, by=draw.choice(WHO))
-        return OwedTold(
+            return ClaimUsage(id=self.id(), tenant="ta", batch=batch, by=draw.choice(WHO))
+        return ConfirmUsageReported(
             id=self.id(), tenant="ta", batch=batch, by=draw.choice(WHO), known=draw.random() < 0.5
         )
 
@@ -821,20 +851,25 @@
     """Every query of a group."""
     if group == FLEET:
         return [
-            ContractsRead(id="q"),
-            ContractsKnown(id="q"),
-            ContractsKnown(id="q", have=3),
-            Places(id="q"),
-            RollsRead(id="q"),
-            *(RollRead(id="q", gateway=name) for name in GATEWAYS),
+            ReadContracts(id="q"),
+            PollContracts(id="q"),
+            PollContracts(id="q", have=3),
+            ReadPlacement(id="q"),
+            ReadRollingRestarts(id="q"),
+            *(ReadDesiredState(id="q", gateway=name) for name in GATEWAYS),
         ]
-    return [PromiseRead(id="q", name="x"), OwedRead(id="q", tenant="ta"), ContractsRead(id="q"), Pass(id="q")]
+    return [
+        ReadValue(id="q", name="x"),
+        ReadUnreportedUsage(id="q", tenant="ta"),
+        ReadContracts(id="q"),
+        AdvanceContracts(id="q"),
+    ]
 
 
-def view_of(draw: random.Random, now: float, wall: float, since: float) -> View:
+def view_of(draw: random.Random, now: float, wall: float, since: float) -> LeaderView:
     """What a leader may look at."""
     dead = {who: draw.choice((500.0, 4000.0, 50_000.0)) for who in WHO if draw.random() < 0.12}
-    return View(
+    return LeaderView(
         now,
         wall,
         WHO[0],
@@ -857,11 +892,11 @@
         self.rules = Invariants(strict=False)
         self.state = self.fresh()
 
-    def fresh(self) -> GroupState:
-        made = GroupState(self.group, TIMINGS, self.rules)
+    def fresh(self) -> GroupStateMachine:
+        made = GroupStateMachine(self.group, TIMINGS, self.rules)
         if self.group == FLEET:
             made.parts["placing"].begin(
-                Record(
+                BootstrapRecord(
                     "yard", "f0", WHO[0], tuple((who, "ab"[at % 2]) for at, who in enumerate(WHO[:5])), 4, 3
                 )
             )
@@ -879,7 +914,7 @@
         for command in reads(self.group):
             self.digest.add(applied_values(self.state.look(command)))
         add_state(self.digest, self.state)
-        self.digest.add((self.rules.count, [(rule, said) for rule, said in self.rules.broken]))
+        self.digest.add((self.rules.count, broken_values(self.rules)))
 
     def swap(self) -> None:
         body = self.state.dump()
@@ -893,12 +928,14 @@
     digest, calls = Digest(), Calls(5000 + seed)
     applier, draw = Applier(group, digest), calls.draw
     if group == FLEET:
-        applier.apply(calls.at, Capacity(id="cap", units=200.0, reserve=0.1, floor=10.0, halls={"a": 100.0}))
+        applier.apply(
+            calls.at, SetCapacity(id="cap", units=200.0, reserve=0.1, floor=10.0, halls={"a": 100.0})
+        )
     for step in range(500):
         passed = draw.choice((0.0, 5.0, 40.0, 300.0, 1500.0))
         calls.at, applier.now = calls.at + passed, applier.now + passed
         rolls = applier.state.parts.get("rolls")
-        if isinstance(rolls, Rolls) and rolls.active is not None:
+        if isinstance(rolls, RollingRestarts) and rolls.active is not None:
             calls.stamp = rolls.active.changes
         result = applier.apply(calls.at, calls.fleet() if group == FLEET else calls.tenant())
         value = result.value
@@ -948,7 +985,7 @@
 def test_a_divided_whole(even: bool) -> None:
     digest, draw, rules = Digest(), random.Random(6000), Invariants(strict=False)
     for case in range(6):
-        divided = Divided(100.0, depth=draw.choice((0.0, 50.0)), step=draw.choice((0.0, 1.0)), even=even)
+        divided = LeasePool(100.0, depth=draw.choice((0.0, 50.0)), step=draw.choice((0.0, 1.0)), even=even)
         now = 0.0
         for step in range(200):
             now += draw.choice((0.0, 10.0, 200.0))
@@ -994,13 +1031,13 @@
                     digest.add(divided.end(gone, last))
                 digest.add(divided.end(who, 0))
                 digest.add(divided.dump())
-                divided = Divided.load(divided.dump())
+                divided = LeasePool.load(divided.dump())
         digest.add((case, rules.count))
     check(f"divided-{even}", digest)
 
 
 def test_shares() -> None:
-    digest, draw, share, now = Digest(), random.Random(7000), Share(), 0.0
+    digest, draw, share, now = Digest(), random.Random(7000), CapacityShares(), 0.0
     for step in range(800):
         now += draw.choice((0.0, 3.0, 40.0))
         if step % 20 == 0:
@@ -1021,7 +1058,8 @@
     check("shares", digest)
 
 
-# Clients --------------------------------------------------------------------------------------------------------------
+# Clients
+# --------------------------------------------------------------------------------------------------------------
 
 
 class Clients:
@@ -1078,7 +1116,9 @@
                 self.call(holder, command)
 
 
-def floors_step(clients: Clients, floors: list[Floor], held: list[tuple[Floor, Reserved]]) -> None:
+def floors_step(
+    clients: Clients, floors: list[ReservationClient], held: list[tuple[ReservationClient, ReservedUnits]]
+) -> None:
     """Requests at some gateways."""
     draw, digest, now = clients.draw, clients.digest, clients.now
     for floor in floors:
@@ -1101,16 +1141,16 @@
 def test_floors_of_gateways(seed: int) -> None:
     digest = Digest()
     clients = Clients(seed, digest)
-    floors = [Floor(who, f"p{at}", TIMINGS, "ab"[at % 2], 3) for at, who in enumerate(WHO[:3])]
+    floors = [ReservationClient(who, f"p{at}", TIMINGS, "ab"[at % 2], 3) for at, who in enumerate(WHO[:3])]
     clients.holders += floors
-    clients.apply(Capacity(id="cap", units=200.0, reserve=0.1, floor=10.0))
+    clients.apply(SetCapacity(id="cap", units=200.0, reserve=0.1, floor=10.0))
     begin = clients.wall
     for at, (rate, rank) in enumerate(((30.0, 1), (60.0, 5), (15.0, 9))):
         clients.apply(
-            Propose(
+            ProposeContract(
                 id=f"p{at}",
                 contract=f"c{at}",
-                terms=Terms(
+                terms=ContractTerms(
                     "ta",
                     (3 * at, 3 * at + 1, 3 * at + 2),
                     rate,
@@ -1120,7 +1160,7 @@
                 ),
             )
         )
-    held: list[tuple[Floor, Reserved]] = []
+    held: list[tuple[ReservationClient, ReservedUnits]] = []
     for step in range(1300):
         quiet = 350 < step < 450 or (seed == 3 and step % 400 > 300)
         busy = floors[:1] if 500 < step < 650 else floors
@@ -1130,11 +1170,11 @@
             clients.work()
         if step == 200:
             clients.apply(
-                Change(
+                ChangeContract(
                     id="ch",
                     contract="c1",
                     holds_from_ms=clients.wall + 5000.0,
-                    terms=Terms(
+                    terms=ContractTerms(
                         "ta", (3, 4, 5, 6), 40.0, 10.0, (Window(begin + 1500.0, begin + 9000.0),), rank=5
                     ),
                 )
@@ -1142,7 +1182,7 @@
         if step == 420:
             clients.apply(CancelContract(id="ca", contract="c2"))
         if step == 700:
-            floors[2] = Floor(WHO[2], "again", TIMINGS, "a", 3)
+            floors[2] = ReservationClient(WHO[2], "again", TIMINGS, "a", 3)
             clients.holders[2] = floors[2]
         if step % 100 == 99:
             digest.add([floor.status(clients.now) for floor in floors])
@@ -1152,7 +1192,7 @@
 
 
 def connections_step(
-    draw: random.Random, now: float, keeper: Keeper, is_open: dict[str, int], digest: Digest
+    draw: random.Random, now: float, keeper: ConnectionLeaseHolder, is_open: dict[str, int], digest: Digest
 ) -> None:
     """One gateway opens and closes."""
     for server in SERVERS:
@@ -1183,11 +1223,11 @@
     digest = Digest()
     clients = Clients(100 + seed, digest)
     draw, rules = clients.draw, Invariants(strict=False)
-    keepers = [Keeper(process(who, "b1", "1"), TIMINGS, rules, clients.now) for who in WHO[:4]]
+    keepers = [ConnectionLeaseHolder(process(who, "b1", "1"), TIMINGS, rules, clients.now) for who in WHO[:4]]
     opened: list[dict[str, int]] = [{} for _ in keepers]
     clients.holders += keepers
     for at, server in enumerate(SERVERS[:3]):
-        clients.apply(Limit(id=f"l{at}", server=server, most=12 + 7 * at, idle_ms=3000.0))
+        clients.apply(SetConnectionLimit(id=f"l{at}", server=server, most=12 + 7 * at, idle_ms=3000.0))
     for step in range(700):
         for keeper, is_open in zip(keepers, opened, strict=True):
             connections_step(draw, clients.now, keeper, is_open, digest)
@@ -1196,13 +1236,13 @@
             clients.work()
         if step % 120 == 60:
             clients.apply(
-                Limit(
+                SetConnectionLimit(
                     id=f"m{step}", server=draw.choice(SERVERS[:3]), most=draw.randint(6, 30), idle_ms=2000.0
                 )
             )
         if step % 150 == 149:
             again = draw.randrange(4)
-            keepers[again] = Keeper(
+            keepers[again] = ConnectionLeaseHolder(
                 process(WHO[again], draw.choice(("b1", "b2")), str(step)),
                 TIMINGS,
                 rules,
@@ -1213,10 +1253,10 @@
             clients.holders[again], opened[again] = keepers[again], {}
         if step == 500:
             keepers[0].leaving = True
-            clients.apply(Unlimit(id="un", server=SERVERS[0]))
+            clients.apply(RemoveConnectionLimit(id="un", server=SERVERS[0]))
         if step % 70 == 69:
             connections = clients.states["g0"].state.parts["connections"]
-            assert isinstance(connections, Connections)
+            assert isinstance(connections, ConnectionLimits)
             digest.add(connections.told())
             clients.states["g0"].look()
     digest.add([list(keeper.unknown) for keeper in keepers])
@@ -1228,10 +1268,10 @@
     digest = Digest()
     clients = Clients(200 + seed, digest)
     draw, moved = clients.draw, list[int]()
-    sides = [Rolled(name, f"{name}-1", 6, lambda: moved.append(1)) for name in GATEWAYS[:5]]
+    sides = [RollingRestartAgent(name, f"{name}-1", 6, lambda: moved.append(1)) for name in GATEWAYS[:5]]
     clients.holders += sides
     clients.apply(
-        RollAsk(
+        StartRollingRestart(
             id="ask",
             roll="r",
             gateways=() if seed % 2 else GATEWAYS[:4],
@@ -1255,20 +1295,20 @@
             duties = side.duties(clients.now)
             digest.add((duties, side.stand, side.mine, side.lead_nothing, side.grow, side.due, len(moved)))
             if duties and draw.random() < 0.3:
-                sides[at] = clients.holders[at] = Rolled(
+                sides[at] = clients.holders[at] = RollingRestartAgent(
                     side.me, f"{side.me}-{step}", 6, lambda: moved.append(1)
                 )
-            elif side.stand in (Stand.PAUSING, Stand.EMPTYING):
+            elif side.stand in (GatewayPhase.PAUSING, GatewayPhase.EMPTYING):
                 side.paused = True
-            elif side.stand is None or side.stand in (Stand.RETURNING, Stand.UNDOING):
+            elif side.stand is None or side.stand in (GatewayPhase.RETURNING, GatewayPhase.UNDOING):
                 side.paused = False
         clients.go(draw.choice((20.0, 60.0, 150.0)))
         if step % 3 == 0:
             clients.work()
         if step == 400 and seed in (2, 6):
-            clients.apply(RollResume(id="res", roll="r", force=True))
+            clients.apply(ResumeGateway(id="res", roll="r", force=True))
         if step == (150 if seed == 3 else 800):
-            clients.apply(RollCancel(id="can", roll="r"))
+            clients.apply(CancelRollingRestart(id="can", roll="r"))
         if step % 90 == 89:
             clients.states[FLEET].look()
     check(f"rolls-{seed}", digest)
@@ -1285,7 +1325,8 @@
     check("least-roll", digest)
 
 
-# Simulated worlds -----------------------------------------------------------------------------------------------------
+# Simulated worlds
+# -----------------------------------------------------------------------------------------------------
 
 
 def recorded_world(digest: Digest) -> Callable[[Any], FleetWorld]:
@@ -1319,7 +1360,7 @@
     check(f"world-{full}", digest)
 
 
-def answers_of(node: Node, digest: Digest, now: float, event: NodeEvent) -> None:
+def answers_of(node: ClusterNode, digest: Digest, now: float, event: NodeEvent) -> None:
     """One event for a node; what comes of it goes into the digest by itself."""
     node.handle(now, START + now, event)
     digest.add((node.due, node.status()))
@@ -1334,34 +1375,38 @@
     Recorded.digest = digest
     members = members_of(1)
     node = Recorded(
-        Setup("yard", "m000", "1", members, 1, 2, TIMINGS, 100.0), {}, random.Random(1), 0.0, START, rules
+        NodeSetup("yard", "m000", "1", members, 1, 2, TIMINGS, 100.0), {}, random.Random(1), 0.0, START, rules
     )
-    now, seqs = 0.0, list[Store]()
-    answers_of(node, digest, now, Call("early", Promise(id="e", name="n", value="v")))
+    now, seqs = 0.0, list[PersistRecords]()
+    answers_of(node, digest, now, ClusterCall("early", PutValue(id="e", name="n", value="v")))
     for step in range(300):
         now += 20.0
         effects = list(node.handle(now, START + now, Tick()))
         while effects:
-            seqs = [effect for effect in effects if isinstance(effect, Store)]
+            seqs = [effect for effect in effects if isinstance(effect, PersistRecords)]
             effects = [
-                later for one in seqs for later in node.handle(now, START + now, Stored(one.group, one.seq))
+                later
+                for one in seqs
+                for later in node.handle(now, START + now, RecordsPersisted(one.group, one.seq))
             ]
         if step % 10 == 9:
-            answers_of(node, digest, now, Call(f"c{step}", Promise(id=f"p{step}", name="n", value=f"{step}")))
-            answers_of(node, digest, now, Call(f"r{step}", PromiseRead(id=f"q{step}", name="n")))
-            answers_of(node, digest, now, Call(f"b{step}", Promise(id=f"b{step}", name="", value="")))
-    good = encode(START, Promise(id="far", name="n", value="w"))
-    bad = encode(START, Promise(id="far", name="", value="w"))
+            answers_of(
+                node, digest, now, ClusterCall(f"c{step}", PutValue(id=f"p{step}", name="n", value=f"{step}"))
+            )
+            answers_of(node, digest, now, ClusterCall(f"r{step}", ReadValue(id=f"q{step}", name="n")))
+            answers_of(node, digest, now, ClusterCall(f"b{step}", PutValue(id=f"b{step}", name="", value="")))
+    good = encode(START, PutValue(id="far", name="n", value="w"))
+    bad = encode(START, PutValue(id="far", name="", value="w"))
     for group, body in (("g0", b"junk"), ("g0", good), ("g1", good), ("g0", bad), ("g9", good)):
-        answers_of(node, digest, now, Received("m000/2", Forward(f"f{group}", group, body, 1)))
+        answers_of(node, digest, now, MessageReceived("m000/2", ForwardedCall(f"f{group}", group, body, 1)))
     for token, body in (("x.1", b""), ("nodigits", b""), ("b9.1", b"\x93\xc0\xc0\xa0")):
-        answers_of(node, digest, now, Received("m000/2", Reply(token, body)))
-    answers_of(node, digest, now, Leave("leave"))
+        answers_of(node, digest, now, MessageReceived("m000/2", ForwardedReply(token, body)))
+    answers_of(node, digest, now, LeaveCluster("leave"))
     for _ in range(100):
         now += 50.0
         node.handle(now, START + now, Tick())
-    answers_of(node, digest, now, StoreBroke(StoreFailed("yard", "the disk is full")))
-    answers_of(node, digest, now, Call("late", Promise(id="late", name="n", value="v")))
+    answers_of(node, digest, now, StorageFailure(StorageFailed("yard", "the disk is full")))
+    answers_of(node, digest, now, ClusterCall("late", PutValue(id="late", name="n", value="v")))
     for _ in range(100):
         now += 50.0
         node.handle(now, START + now, Tick())
@@ -1391,15 +1436,19 @@
 
 
 def test_waves_of_a_roll_that_a_leader_may_not_begin() -> None:
-    digest, good = Digest(), Facts(0, 1, 0, -1.0, 10.0)
+    digest, good = Digest(), ClusterConditions(0, 1, 0, -1.0, 10.0)
     applier = Applier(FLEET, digest)
-    applier.apply(START, RollAsk(id="ask", roll="r", gateways=GATEWAYS[:4], at_once=2))
+    applier.apply(START, StartRollingRestart(id="ask", roll="r", gateways=GATEWAYS[:4], at_once=2))
     rolls = applier.state.parts["rolls"]
-    assert isinstance(rolls, Rolls) and rolls.active is not None
-    for turn, order in ((Turn.SEEN, ()), (Turn.PLANNED, ()), (Turn.PLANNED, GATEWAYS[:4])):
+    assert isinstance(rolls, RollingRestarts) and rolls.active is not None
+    for turn, order in (
+        (RestartEvent.SEEN, ()),
+        (RestartEvent.PLANNED, ()),
+        (RestartEvent.PLANNED, GATEWAYS[:4]),
+    ):
         applier.apply(
             START,
-            RollTurn(
+            RecordRestartEvent(
                 id=f"{turn.name}{len(order)}",
                 roll="r",
                 stamp=rolls.active.changes,
@@ -1412,17 +1461,17 @@
     waves[:0] = [
         (GATEWAYS[:1], facts)
         for facts in (
-            Facts(1, 1, 0, -1.0, 0.0),
-            Facts(0, -1, 0, -1.0, 0.0),
-            Facts(0, 1, 1, -1.0, 0.0),
-            Facts(0, 1, 0, 5.0, 9.0),
+            ClusterConditions(1, 1, 0, -1.0, 0.0),
+            ClusterConditions(0, -1, 0, -1.0, 0.0),
+            ClusterConditions(0, 1, 1, -1.0, 0.0),
+            ClusterConditions(0, 1, 0, 5.0, 9.0),
         )
     ]
     for at, (gateways, facts) in enumerate(waves):
         for behind in (-1, 1, 0):
             applier.apply(
                 START + at,
-                RollWave(
+                StartWave(
                     id=f"w{at}/{behind}",
                     roll="r",
                     gateways=gateways,
@@ -1436,9 +1485,9 @@
 
 def test_connections_are_closed_ahead_of_a_lease_that_is_not_renewed() -> None:
     digest, clients = Digest(), Clients(300, Digest())
-    keeper = Keeper(process(WHO[0], "b1", "1"), TIMINGS, Invariants(strict=False), clients.now)
+    keeper = ConnectionLeaseHolder(process(WHO[0], "b1", "1"), TIMINGS, Invariants(strict=False), clients.now)
     server, now, before = SERVERS[0], clients.now, (False, False, 0)
-    clients.apply(Limit(id="l", server=server, most=9, idle_ms=3000.0))
+    clients.apply(SetConnectionLimit(id="l", server=server, most=9, idle_ms=3000.0))
     keeper.want(server, 3)
     for step in range(60_000):
         now += 0.5
--- a/tests/cluster/test_golden_cluster.py
+++ b/tests/cluster/test_golden_cluster.py
@@ -1,4 +1,5 @@
-"""What the cluster sends, stores and answers, byte for byte as golden files state it (tests/golden/README.md)."""
+"""What the cluster sends, stores and answers, byte for byte as golden files state it
+(tests/golden/README.md)."""
 
 from __future__ import annotations
 
@@ -17,27 +18,36 @@
 import pytest
 
 from badgeryoke.cluster import key_value, messages, unreported_usage
-from badgeryoke.cluster.bootstrap import Record as FoundingRecord
-from badgeryoke.cluster.connection_limits import Ask as ConnectionsAsk
-from badgeryoke.cluster.errors import AnyError, FleetError
-from badgeryoke.cluster.events import Call, Done, Effect, NodeEvent, Received, Saved, Send, Stored
+from badgeryoke.cluster.bootstrap import BootstrapRecord as FoundingRecord
+from badgeryoke.cluster.connection_limits import ConnectionLeaseRequest as ConnectionsAsk
+from badgeryoke.cluster.errors import AnyError, ClusterError
+from badgeryoke.cluster.events import (
+    ClusterCall,
+    Effect,
+    MessageReceived,
+    NodeEvent,
+    OperationCompleted,
+    PersistedGroup,
+    RecordsPersisted,
+    SendMessage,
+)
 from badgeryoke.cluster.invariants import Invariants, Rule
 from badgeryoke.cluster.messages import AnyMessage, Message
-from badgeryoke.cluster.node import Node
+from badgeryoke.cluster.node import ClusterNode
 from badgeryoke.cluster.node import _replies as forwarded_answers
-from badgeryoke.cluster.node_setup import Setup
+from badgeryoke.cluster.node_setup import NodeSetup
 from badgeryoke.cluster.placement import directory
 from badgeryoke.cluster.placement.directory import group_of
 from badgeryoke.cluster.reservations import contract
 from badgeryoke.cluster.rolling_restart import restart
-from badgeryoke.cluster.state_machine.machine import REGISTRY, GroupState, encode
-from badgeryoke.cluster.state_machine.part import FLEET, Applied, Command, View
+from badgeryoke.cluster.state_machine.machine import REGISTRY, GroupStateMachine, encode
+from badgeryoke.cluster.state_machine.part import FLEET, ApplyResult, Command, LeaderView
 from badgeryoke.cluster.timings import Timings
 from badgeryoke.gateway.cluster.admin_calls import known, line_of, read_call
-from badgeryoke.gateway.cluster.service import Service, setup_of
-from badgeryoke.gateway.cluster.settings import Fleet
-from badgeryoke.gateway.cluster.storage import NAME, Disk, open_store
-from badgeryoke.gateway.cluster.transport import Links, frame
+from badgeryoke.gateway.cluster.service import ClusterService, setup_of
+from badgeryoke.gateway.cluster.settings import ClusterSettings
+from badgeryoke.gateway.cluster.storage import NAME, ClusterStorage, open_store
+from badgeryoke.gateway.cluster.transport import ClusterTransport, frame
 from tests.gateway.cluster.test_service import free
 from tests.gateway.test_service import until
 from tests.support.canonical import canonical
@@ -78,7 +88,8 @@
     return json.loads((GOLDEN / name).read_text())
 
 
-# What is sent and what a log holds ------------------------------------------------------------------------------------
+# What is sent and what a log holds
+# ------------------------------------------------------------------------------------
 
 
 def encoded_cases() -> dict[str, str]:
@@ -114,7 +125,7 @@
     [
         (Message, set(get_args(AnyMessage)), [message for _, message in MESSAGES]),
         (Command, set(REGISTRY.commands.values()), [command for _, command in COMMANDS]),
-        (FleetError, set(get_args(AnyError)), ERRORS),
+        (ClusterError, set(get_args(AnyError)), ERRORS),
     ],
     ids=["messages", "commands", "errors"],
 )
@@ -139,19 +150,19 @@
 def test_the_parts_of_messages_and_commands_have_samples_with_no_field_at_its_default() -> None:
     samples = [sample for case in CASES for sample in structs_within(case.value)]
     parts = {
-        messages.Config,
-        messages.Entry,
-        messages.Rumour,
+        messages.GroupConfiguration,
+        messages.LogEntry,
+        messages.GossipUpdate,
         messages.Envelope,
         FoundingRecord,
         contract.Window,
-        contract.Terms,
-        restart.Facts,
-        unreported_usage.Line,
-        directory.Move,
-        directory.Held,
+        contract.ContractTerms,
+        restart.ClusterConditions,
+        unreported_usage.UsageLine,
+        directory.ReplicaMove,
+        directory.GroupPlacement,
         ConnectionsAsk,
-        Applied,
+        ApplyResult,
     }
     assert parts <= set(map(type, samples))
     for kind in {type(sample) for sample in samples}:
@@ -165,16 +176,16 @@
 def stored_words() -> dict[str, list[Any]]:
     """The words by which snapshots, entries and answers name members of enumerations, reports and parts."""
     names: dict[str, type[Enum]] = {
-        "roll states": restart.State,
-        "roll turns": restart.Turn,
-        "gateway stands": restart.Stand,
-        "gateway steps": restart.Step,
+        "roll states": restart.RestartState,
+        "roll turns": restart.RestartEvent,
+        "gateway stands": restart.GatewayPhase,
+        "gateway steps": restart.GatewayEvent,
         "rules": Rule,
     }
     values: dict[str, type[Enum]] = {
-        "contract states": contract.State,
-        "roll states told": restart.State,
-        "gateway stands told": restart.Stand,
+        "contract states": contract.ContractState,
+        "roll states told": restart.RestartState,
+        "gateway stands told": restart.GatewayPhase,
     }
     return (
         {name: [one.name for one in kind] for name, kind in names.items()}
@@ -191,12 +202,13 @@
     assert stored_words() == golden("cluster/words.json")
 
 
-# The state machine ----------------------------------------------------------------------------------------------------
+# The state machine
+# ----------------------------------------------------------------------------------------------------
 
 
-def leaders_view() -> View:
+def leaders_view() -> LeaderView:
     """What the leader of either group looks at, long behind the last entry."""
-    return View(
+    return LeaderView(
         now=NODE_TIME_MS + 1e6,
         wall=START_MS + 900_000.0,
         me="a/1",
@@ -259,7 +271,8 @@
             assert golden("cluster/histories.json")[group]["values"][name] != canonical(part.dump()), name
 
 
-# The store ------------------------------------------------------------------------------------------------------------
+# The store
+# ------------------------------------------------------------------------------------------------------------
 
 
 @pytest.fixture
@@ -268,15 +281,15 @@
     return Path(shutil.copytree(STORE, tmp_path / "store"))
 
 
-def opened(folder: Path) -> Disk:
+def opened(folder: Path) -> ClusterStorage:
     """The store in a folder, which must not be made anew."""
     made = open_store(folder, CLUSTER, MEMBER, fresh=lambda: "made anew")
-    assert isinstance(made, Disk), made
+    assert isinstance(made, ClusterStorage), made
     assert not made.faults and made.incarnation == INCARNATION
     return made
 
 
-def rebuilt(group: str, saved: Saved) -> GroupState:
+def rebuilt(group: str, saved: PersistedGroup) -> GroupStateMachine:
     """A group's state out of its snapshot and entries."""
     state = new_state(group)
     if saved.snapshot is not None:
@@ -346,33 +359,40 @@
     assert (fresh.folder / "told").read_bytes() == (folder / "told").read_bytes()
 
 
-# The operators' calls -------------------------------------------------------------------------------------------------
+# The operators' calls
+# -------------------------------------------------------------------------------------------------
 
 
 class AnsweringNode:
-    """In the node's place: the groups of a store without an election, each call a second behind the one before.
-    A node that is never driven tells the status."""
+    """In the node's place: the groups of a store without an election, each call a second behind the one
+    before. A node that is never driven tells the status."""
 
     def __init__(
-        self, setup: Setup, saved: dict[str, Saved], draw: Random, now: float, wall: float, rules: Invariants
+        self,
+        setup: NodeSetup,
+        saved: dict[str, PersistedGroup],
+        draw: Random,
+        now: float,
+        wall: float,
+        rules: Invariants,
     ) -> None:
         self.states = {name: rebuilt(name, saved[name]) for name in (FLEET, "g0", OTHER)}
-        self._node = Node(setup, saved, Random(1), NODE_TIME_MS, START_MS, rules)
+        self._node = ClusterNode(setup, saved, Random(1), NODE_TIME_MS, START_MS, rules)
         self._at_ms = START_MS + 100_000.0
         self.due = math.inf
 
     def handle(self, now: float, wall: float, event: NodeEvent) -> list[Effect]:
         """Answer a call."""
-        if not isinstance(event, Call):
+        if not isinstance(event, ClusterCall):
             return []
         self._at_ms += 1000.0
         command = event.command
         group = group_of(command.key(), FOUNDING.groups)
         if command.reads:
-            return [Done(event.token, self.states[group].look(command))]
-        return [Done(event.token, self.apply(group, encode(self._at_ms, command)))]
+            return [OperationCompleted(event.token, self.states[group].look(command))]
+        return [OperationCompleted(event.token, self.apply(group, encode(self._at_ms, command)))]
 
-    def apply(self, group: str, body: bytes) -> Applied:
+    def apply(self, group: str, body: bytes) -> ApplyResult:
         """One more entry of a group."""
         state = self.states[group]
         return state.apply(NODE_TIME_MS, state.index + 1, body)
@@ -382,23 +402,23 @@
         return self._node.status()
 
 
-def service_section(folder: Path) -> Fleet:
+def service_section(folder: Path) -> ClusterSettings:
     """The operators' file; nobody listens at the others' addresses."""
     members = [
         {"name": name, "hall": hall, "address": f"{HOST}:{port}"}
         for name, hall, port in (("a", "east", free()), ("b", "west", 1), ("c", "east", 2))
     ]
     return msgspec.convert(
-        {"enabled": True, "name": CLUSTER, "folder": str(folder), "members": members}, Fleet
+        {"enabled": True, "name": CLUSTER, "folder": str(folder), "members": members}, ClusterSettings
     )
 
 
 def answers_to(calls: list[dict[str, str]], folder: Path) -> list[str]:
-    """The lines that a service on that store answers, call by call.  An "entry" is one of the fleet's own group (hex)
-    that no operator may call for; its answer is in canonical form."""
+    """The lines that a service on that store answers, call by call.  An "entry" is one of the fleet's own
+    group (hex) that no operator may call for; its answer is in canonical form."""
 
     async def ask() -> list[str]:
-        service = Service(service_section(folder), MEMBER, make=AnsweringNode)
+        service = ClusterService(service_section(folder), MEMBER, make=AnsweringNode)
         service.start()
         await until(lambda: service.node is not None or service.failed is not None)
         try:
@@ -432,7 +452,8 @@
     assert "status" in read
 
 
-# What goes between members --------------------------------------------------------------------------------------------
+# What goes between members
+# --------------------------------------------------------------------------------------------
 
 
 async def next_frame(reader: asyncio.StreamReader) -> str:
@@ -455,7 +476,7 @@
 
     async with await asyncio.start_server(answer, HOST, 0) as server:
         address = HOST, int(server.sockets[0].getsockname()[1])
-        links = Links(
+        links = ClusterTransport(
             CLUSTER, SENDER, {"b": address}, lambda sender, those: None, lambda error: None, Random(1)
         )
         for _, message in MESSAGES:
@@ -469,7 +490,7 @@
 async def answered() -> dict[str, str]:
     """What links that are dialled answer."""
     listening = socket.create_server((HOST, 0))
-    links = Links(
+    links = ClusterTransport(
         CLUSTER, RECEIVER, {"a": (HOST, 1)}, lambda sender, those: None, lambda error: None, Random(1)
     )
     links.listen([listening])
@@ -498,12 +519,13 @@
 
 
 def node_events() -> list[NodeEvent]:
-    """What happens to a member that comes back with the golden store: a leader is heard, calls come and go."""
+    """What happens to a member that comes back with the golden store: a leader is heard, calls come and
+    go."""
     last = history_entries(OTHER)[-1]
-    put = key_value.Promise(id="x1", name="note", value="armed")
-    entry = messages.Entry(last.index + 1, 8, messages.COMMAND, encode(START_MS + 70_000.0, put))
+    put = key_value.PutValue(id="x1", name="note", value="armed")
+    entry = messages.LogEntry(last.index + 1, 8, messages.COMMAND, encode(START_MS + 70_000.0, put))
     group = group_of(put.key(), FOUNDING.groups)
-    append = messages.Append(
+    append = messages.AppendEntries(
         group=OTHER,
         term=8,
         previous=last.index,
@@ -512,33 +534,33 @@
         commit=last.index,
         round=1,
     )
-    beat = messages.Append(
+    beat = messages.AppendEntries(
         group=OTHER, term=8, previous=entry.index, previous_term=8, entries=(), commit=entry.index, round=2
     )
     call = encode(START_MS + 71_000.0, put)
     received: list[messages.AnyMessage] = [
-        messages.Forward(token="c.1", group=group, body=call, hops=1),
-        messages.Forward(token="c.2", group="g9", body=call, hops=1),
-        messages.Forward(token="c.3", group=group, body=b"\xc1", hops=1),
-        messages.Forward(
+        messages.ForwardedCall(token="c.1", group=group, body=call, hops=1),
+        messages.ForwardedCall(token="c.2", group="g9", body=call, hops=1),
+        messages.ForwardedCall(token="c.3", group=group, body=b"\xc1", hops=1),
+        messages.ForwardedCall(
             token="c.4",
             group=group,
             hops=1,
-            body=encode(START_MS, key_value.Promise(id="x2", name="", value="")),
+            body=encode(START_MS, key_value.PutValue(id="x2", name="", value="")),
         ),
-        messages.WhoAreYou(sender_hall="east"),
+        messages.IdentityQuery(sender_hall="east"),
         messages.Ping(seq=3, target="a/1", gossip=(), wall=START_MS),
-        messages.Ask(group="g0", term=5, last_index=9, last_term=4, pre=False, lead=True),
+        messages.RequestVote(group="g0", term=5, last_index=9, last_term=4, pre=False, lead=True),
         append,
     ]
     return [
-        *(Received("c/3", message) for message in received),
-        Stored("g0", 1),
-        Stored(OTHER, 1),
-        Stored(OTHER, 2),
-        Received("c/3", beat),
-        Call("a.1", put),
-        Call("a.2", key_value.PromiseRead(id="x3", name="note")),
+        *(MessageReceived("c/3", message) for message in received),
+        RecordsPersisted("g0", 1),
+        RecordsPersisted(OTHER, 1),
+        RecordsPersisted(OTHER, 2),
+        MessageReceived("c/3", beat),
+        ClusterCall("a.1", put),
+        ClusterCall("a.2", key_value.ReadValue(id="x3", name="note")),
     ]
 
 
@@ -547,13 +569,19 @@
     disk = opened(folder)
     disk.close()
     setup = setup_of(service_section(folder), MEMBER, disk.incarnation)
-    node = Node(setup, disk.saved, Random(1), NODE_TIME_MS, START_MS + 80_000.0, Invariants(strict=True))
+    node = ClusterNode(
+        setup, disk.saved, Random(1), NODE_TIME_MS, START_MS + 80_000.0, Invariants(strict=True)
+    )
     told: list[list[str]] = []
     for event in node_events():
         effects = node.handle(NODE_TIME_MS + 1.0, START_MS + 80_000.0, event)
         told.append(
             [canonical(effect) for effect in effects]
-            + [msgspec.msgpack.encode(effect.message).hex() for effect in effects if isinstance(effect, Send)]
+            + [
+                msgspec.msgpack.encode(effect.message).hex()
+                for effect in effects
+                if isinstance(effect, SendMessage)
+            ]
         )
     return told
 
@@ -573,7 +601,7 @@
     assert forced_group(folder) == golden("cluster/exchanges.json")["forced"]
 
 
-REPLIES = ((Applied(value=["armed", 3]), None, "c/3"), *((None, error, "c/3") for error in ERRORS))
+REPLIES = ((ApplyResult(value=["armed", 3]), None, "c/3"), *((None, error, "c/3") for error in ERRORS))
 
 
 @pytest.mark.parametrize("reply", REPLIES, ids=["applied", *(error.code for error in ERRORS)])
--- a/tests/cluster/test_membership.py
+++ b/tests/cluster/test_membership.py
@@ -14,40 +14,50 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from badgeryoke.cluster.bootstrap import Founding, Record, read
-from badgeryoke.cluster.errors import AnotherFleet, BadCall, Crowded, StaleIncarnation
-from badgeryoke.cluster.events import HardState, Received, Saved, Say, Send, Snapshot, Store, Stored, Tick
+from badgeryoke.cluster.bootstrap import Bootstrap, BootstrapRecord, read
+from badgeryoke.cluster.errors import ClusterMismatch, InvalidCall, Overloaded, StaleIncarnation
+from badgeryoke.cluster.events import (
+    HardState,
+    LogEvent,
+    MessageReceived,
+    PersistedGroup,
+    PersistRecords,
+    RecordsPersisted,
+    SendMessage,
+    Snapshot,
+    Tick,
+)
 from badgeryoke.cluster.invariants import Invariants
 from badgeryoke.cluster.membership.protocol import LEFT_GRACE, Membership
 from badgeryoke.cluster.messages import (
     CONFIG,
     NOTHING,
     Ack,
-    Config,
-    Found,
-    IAm,
-    Id,
+    Announce,
+    ClusterFounded,
+    GossipUpdate,
+    GroupConfiguration,
+    IdentityQuery,
+    MemberId,
     Ping,
-    Rumour,
-    WhoAreYou,
-    name_of,
+    member_name,
 )
-from badgeryoke.cluster.node_setup import FOUNDING, Member, Setup
+from badgeryoke.cluster.node_setup import FOUNDING, Member, NodeSetup
 from badgeryoke.cluster.placement.directory import (
     FORCED_TERMS,
     LONGEST_MOVE_MS,
-    Enrol,
-    Forgo,
-    Moved,
-    Placing,
-    Replace,
+    CancelMove,
+    EnrolMember,
+    PlacementDirectory,
+    ReplaceReplica,
+    ReplicaMoved,
     copies_for,
     first_placing,
     forced,
     group_of,
 )
-from badgeryoke.cluster.raft.log import Log
-from badgeryoke.cluster.state_machine.part import FLEET, View
+from badgeryoke.cluster.raft.log import RaftLog
+from badgeryoke.cluster.state_machine.part import FLEET, LeaderView
 from badgeryoke.cluster.timings import Timings
 
 TIMES = Timings()
@@ -65,27 +75,29 @@
         self.draw, self.now, self.kind = random.Random(seed), 0.0, kind
         self.members = members_of(count)
         self.nodes: dict[str, Any] = {}
-        self.ids: dict[str, Id] = {}
-        self.disk: dict[str, Saved] = {}
+        self.ids: dict[str, MemberId] = {}
+        self.disk: dict[str, PersistedGroup] = {}
         self.ticks: dict[str, float] = {}
-        self.queue: list[tuple[float, int, str, Id, Any]] = []  # when, order, to, as whom, event
-        self.frozen: dict[str, list[tuple[Id, Any]]] = {}
+        self.queue: list[tuple[float, int, str, MemberId, Any]] = []  # when, order, to, as whom, event
+        self.frozen: dict[str, list[tuple[MemberId, Any]]] = {}
         self.sent: Counter[str] = Counter()
-        self.says: list[tuple[float, str, Say]] = []
+        self.says: list[tuple[float, str, LogEvent]] = []
         self.order = 0
         self.delay: Callable[[str, str], float | None] = lambda a, b: self.draw.uniform(0.2, 2.0)
 
     def start(self, name: str, wiped: bool = False) -> None:
         """A process starts: as it was, or with a new store and so as a new incarnation."""
         if wiped or name not in self.ids:
-            self.disk[name] = Saved()
+            self.disk[name] = PersistedGroup()
             self.ids[name] = f"{name}/{self.draw.getrandbits(32):08x}"
         draw, incarnation = random.Random(self.draw.random()), self.ids[name].partition("/")[2]
         hall = next(one.hall for one in self.members if one.name == name)
         self.nodes[name] = (
             Membership(self.ids[name], hall, self.members, TIMES, draw, self.now)
             if self.kind == "membership"
-            else Founding(Setup("yard", name, incarnation, self.members), self.disk[name], draw, self.now)
+            else Bootstrap(
+                NodeSetup("yard", name, incarnation, self.members), self.disk[name], draw, self.now
+            )
         )
         self.tick(name)
 
@@ -99,7 +111,7 @@
             self.ticks[name] = due
             self.put(max(due, self.now), name, self.ids[name], Tick())
 
-    def put(self, when: float, to: str, who: Id, event: Any) -> None:
+    def put(self, when: float, to: str, who: MemberId, event: Any) -> None:
         self.order += 1
         heapq.heappush(self.queue, (when, self.order, to, who, event))
 
@@ -108,15 +120,20 @@
 
     def carry(self, name: str, effects: list[Any]) -> None:
         for one in effects:
-            if isinstance(one, Say):
+            if isinstance(one, LogEvent):
                 self.says.append((self.now, name, one))
-            elif isinstance(one, Store):
+            elif isinstance(one, PersistRecords):
                 self.put(self.now + self.draw.uniform(1, 20), name, self.ids[name], one)
-            elif isinstance(one, Send):
+            elif isinstance(one, SendMessage):
                 self.sent[name] += 1
-                took = self.delay(name, name_of(one.to))
+                took = self.delay(name, member_name(one.to))
                 if took is not None:
-                    self.put(self.now + took, name_of(one.to), one.to, Received(self.ids[name], one.message))
+                    self.put(
+                        self.now + took,
+                        member_name(one.to),
+                        one.to,
+                        MessageReceived(self.ids[name], one.message),
+                    )
         if name in self.nodes:
             self.tick(name)
 
@@ -132,9 +149,9 @@
                     isinstance(one, Tick) for _, one in self.frozen[name]
                 ):
                     self.frozen[name].append((who, event))
-            elif isinstance(event, Store):
+            elif isinstance(event, PersistRecords):
                 self.disk[name] = stored(self.disk[name], event)
-                self.give(name, Stored(event.group, event.seq))
+                self.give(name, RecordsPersisted(event.group, event.seq))
             elif not isinstance(event, Tick) or self.now >= self.nodes[name].due:
                 self.give(name, event)
             else:
@@ -147,23 +164,23 @@
         self.put(self.now, name, self.ids[name], Tick())
 
     def believed(self, who: str) -> Counter[str]:
-        return Counter(one.state_of(who) for name, one in self.nodes.items() if name != name_of(who))
+        return Counter(one.state_of(who) for name, one in self.nodes.items() if name != member_name(who))
 
     def buried(self, since: float = 0.0) -> set[str]:
         """Names that anybody has called dead."""
         return {
-            name_of(say.fields["who"])
+            member_name(say.fields["who"])
             for at, _, say in self.says
             if at >= since and say.event == "fleet_member" and say.fields["state"] == "dead"
         }
 
 
-def stored(saved: Saved, event: Store) -> Saved:
+def stored(saved: PersistedGroup, event: PersistRecords) -> PersistedGroup:
     for record in event.records:
         if isinstance(record, HardState):
-            saved = Saved(record.term, record.vote, saved.snapshot, saved.entries)
+            saved = PersistedGroup(record.term, record.vote, saved.snapshot, saved.entries)
         elif isinstance(record, Snapshot):
-            saved = Saved(saved.term, saved.vote, record, ())
+            saved = PersistedGroup(saved.term, saved.vote, record, ())
     return saved
 
 
@@ -255,7 +272,7 @@
     me = Membership(
         "a/1", "x", [Member("a", "x"), Member("b", "x"), Member("c", "x")], TIMES, random.Random(1), 0.0
     )
-    me.handle(10.0, Received("c/1", Ping(1, "a/1", (Rumour("b/1", 1, 0, "c/1"),))))
+    me.handle(10.0, MessageReceived("c/1", Ping(1, "a/1", (GossipUpdate("b/1", 1, 0, "c/1"),))))
     assert me.state_of("b") == "suspected"
     me.handle(60000.0, Tick())
     assert me.state_of("b") == "suspected"
@@ -290,7 +307,10 @@
     assert net.believed(old) == {"superseded": 4} and net.believed(net.ids["m001"]) == {"alive": 4}
     node = net.nodes["m000"]
     assert node.dead_for(net.now)[old] > 8000.0 and old not in node.alive()
-    node.handle(net.now, Received(net.ids["m002"], Ping(1, "", (Rumour(old, 0, 99), Rumour(old, 2, 99)))))
+    node.handle(
+        net.now,
+        MessageReceived(net.ids["m002"], Ping(1, "", (GossipUpdate(old, 0, 99), GossipUpdate(old, 2, 99)))),
+    )
     assert node.state_of(net.ids["m001"]) == "alive" and old in node.dead_for(net.now), (
         "no rumour brings it back"
     )
@@ -314,7 +334,7 @@
 # ------------------------------------------------------------------------------------------------
 
 
-def records(net: Net) -> dict[str, Record]:
+def records(net: Net) -> dict[str, BootstrapRecord]:
     """What stands on the disks."""
     found = {
         name: read(saved.snapshot.body) for name, saved in net.disk.items() if saved.snapshot is not None
@@ -381,31 +401,33 @@
 
 
 def test_a_record_from_before_a_later_maker_is_not_taken() -> None:
-    setup = Setup("yard", "b", "1", (Member("a", "x"), Member("b", "x")))
-    old = Record("yard", "01", "a/1", (("a/1", "x"), ("b/1", "x")), 8, 3)
-    node = Founding(setup, Saved(), random.Random(1), 0.0)
-    assert [type(one) for one in node.handle(1.0, Received("a/1", WhoAreYou("x")))] == [Store], (
-        "the answer waits"
-    )
-    assert node.handle(2.0, Received("a/2", WhoAreYou("x")))[0].group == FOUNDING  # type: ignore[union-attr]
-    assert node.handle(3.0, Stored(FOUNDING, 1)) == []
-    assert node.handle(3.0, Stored(FOUNDING, 2)) == [Send("a/2", IAm("x", b""))]
-    assert node.handle(4.0, Received("a/1", Found(msgspec.msgpack.encode(old)))) == []
-    restarted = Founding(setup, Saved(2, "a/2"), random.Random(1), 0.0)
-    assert restarted.handle(4.0, Received("a/1", Found(msgspec.msgpack.encode(old)))) == []
+    setup = NodeSetup("yard", "b", "1", (Member("a", "x"), Member("b", "x")))
+    old = BootstrapRecord("yard", "01", "a/1", (("a/1", "x"), ("b/1", "x")), 8, 3)
+    node = Bootstrap(setup, PersistedGroup(), random.Random(1), 0.0)
+    assert [type(one) for one in node.handle(1.0, MessageReceived("a/1", IdentityQuery("x")))] == [
+        PersistRecords
+    ], "the answer waits"
+    assert node.handle(2.0, MessageReceived("a/2", IdentityQuery("x")))[0].group == FOUNDING  # type: ignore[union-attr]
+    assert node.handle(3.0, RecordsPersisted(FOUNDING, 1)) == []
+    assert node.handle(3.0, RecordsPersisted(FOUNDING, 2)) == [SendMessage("a/2", Announce("x", b""))]
+    assert node.handle(4.0, MessageReceived("a/1", ClusterFounded(msgspec.msgpack.encode(old)))) == []
+    restarted = Bootstrap(setup, PersistedGroup(2, "a/2"), random.Random(1), 0.0)
+    assert restarted.handle(4.0, MessageReceived("a/1", ClusterFounded(msgspec.msgpack.encode(old)))) == []
 
 
 def test_another_fleet_is_told_and_not_taken() -> None:
-    setup = Setup("yard", "b", "1", (Member("a", "x"), Member("b", "x")))
-    other = msgspec.msgpack.encode(Record("mill", "01", "a/1", (("a/1", "x"), ("b/1", "x")), 8, 3))
-    node = Founding(setup, Saved(), random.Random(1), 0.0)
-    said = node.handle(1.0, Received("a/1", Found(other)))
-    assert [one.fields["error"] for one in said if isinstance(one, Say)] == ["another-fleet"] and len(
+    setup = NodeSetup("yard", "b", "1", (Member("a", "x"), Member("b", "x")))
+    other = msgspec.msgpack.encode(BootstrapRecord("mill", "01", "a/1", (("a/1", "x"), ("b/1", "x")), 8, 3))
+    node = Bootstrap(setup, PersistedGroup(), random.Random(1), 0.0)
+    said = node.handle(1.0, MessageReceived("a/1", ClusterFounded(other)))
+    assert [one.fields["error"] for one in said if isinstance(one, LogEvent)] == ["another-fleet"] and len(
         said
     ) == 1
-    assert node.handle(1.0, Received("a/1", Found(b"\xc1")))[0].fields["error"] == "bad-frame"  # type: ignore[union-attr]
-    kept = Founding(setup, Saved(snapshot=Snapshot(1, 1, Config(()), other)), random.Random(1), 0.0)
-    assert isinstance(kept.error, AnotherFleet) and kept.record is None
+    assert node.handle(1.0, MessageReceived("a/1", ClusterFounded(b"\xc1")))[0].fields["error"] == "bad-frame"  # type: ignore[union-attr]
+    kept = Bootstrap(
+        setup, PersistedGroup(snapshot=Snapshot(1, 1, GroupConfiguration(()), other)), random.Random(1), 0.0
+    )
+    assert isinstance(kept.error, ClusterMismatch) and kept.record is None
 
 
 # Where the copies are
@@ -421,8 +443,8 @@
     assert all(group_of(key, 9) == "g8" for key in moved) and len(moved) < 4000 / 9 * 1.2
 
 
-def record_of(halls: list[str], groups: int = 8, copies: int = 3) -> Record:
-    return Record(
+def record_of(halls: list[str], groups: int = 8, copies: int = 3) -> BootstrapRecord:
+    return BootstrapRecord(
         "yard", "01", "m000/1", tuple((f"m{at:03}/1", hall) for at, hall in enumerate(halls)), groups, copies
     )
 
@@ -448,18 +470,18 @@
 
     def __init__(self, halls: list[str], groups: int = 8, copies: int = 3) -> None:
         self.rules = Invariants()
-        self.placing = Placing(TIMES, self.rules)
+        self.placing = PlacementDirectory(TIMES, self.rules)
         self.placing.begin(record_of(halls, groups, copies))
         self.halls = {f"m{at:03}": hall for at, hall in enumerate(halls)}
         self.alive = {name: f"{name}/1" for name in self.halls}
-        self.config = {group: Config(voters) for group, voters in self.placing.voters().items()}
+        self.config = {group: GroupConfiguration(voters) for group, voters in self.placing.voters().items()}
         self.number = dict.fromkeys(self.config, 0)
-        self.dead: dict[Id, float] = {}
+        self.dead: dict[MemberId, float] = {}
         self.now, self.most, self.steps = 0.0, 0, 0
-        self.behind: tuple[Id, ...] = ()
+        self.behind: tuple[MemberId, ...] = ()
 
-    def view(self) -> View:
-        return View(
+    def view(self) -> LeaderView:
+        return LeaderView(
             self.now,
             1e12 + self.now,
             "m000/1",
@@ -489,9 +511,9 @@
                 learners = tuple(who for who in config.learners if who != change.who)
                 voters = tuple(who for who in config.voters if who != change.who)
                 made = {
-                    "learn": Config(voters, (*learners, change.who)),
-                    "remove": Config(voters, learners),
-                    "promote": Config((*voters, change.who), learners),
+                    "learn": GroupConfiguration(voters, (*learners, change.who)),
+                    "remove": GroupConfiguration(voters, learners),
+                    "promote": GroupConfiguration((*voters, change.who), learners),
                 }[change.act]
                 assert sum(who in alive for who in made.voters) >= made.majority()
                 self.config[group] = made
@@ -501,7 +523,7 @@
             if report is not None:
                 assert self.placing.apply(1e12 + self.now, report).error is None
         raw = msgspec.msgpack.decode(msgspec.msgpack.encode(self.placing.dump()))
-        again = Placing(TIMES, self.rules)
+        again = PlacementDirectory(TIMES, self.rules)
         again.load(raw)
         assert again.dump() == self.placing.dump()
 
@@ -519,7 +541,7 @@
             )
         assert quiet == 3, self.placing.missing(self.view())
 
-    def kill(self, name: str) -> Id:
+    def kill(self, name: str) -> MemberId:
         who = self.alive.pop(name)
         self.dead[who] = self.now
         return who
@@ -528,7 +550,7 @@
         self.alive[name] = f"{name}/{incarnation}"
         self.dead.pop(self.alive[name], None)
 
-    def load(self) -> Counter[Id]:
+    def load(self) -> Counter[MemberId]:
         return Counter(who for config in self.config.values() for who in config.voters)
 
 
@@ -545,7 +567,7 @@
             fleet.step()
             for group, move in fleet.placing.moves.items():
                 voters = {*fleet.config[group].voters, move.new} - {move.lost}
-                assert len({fleet.halls[name_of(who)] for who in voters}) == 2, (
+                assert len({fleet.halls[member_name(who)] for who in voters}) == 2, (
                     "at no moment in one hall alone"
                 )
         fleet.settle()
@@ -553,7 +575,7 @@
         for group in held:
             assert lost not in fleet.config[group].voters
         for config in fleet.config.values():
-            assert len({fleet.halls[name_of(who)] for who in config.voters}) == 2
+            assert len({fleet.halls[member_name(who)] for who in config.voters}) == 2
     assert fleet.most <= TIMES.repair_at_once
     load = fleet.load()
     assert sum(load.values()) == 27 and max(load.values()) - min(load.values()) <= 1
@@ -591,7 +613,7 @@
     fleet.settle()
     assert all(set(config.voters) == {"m000/1", "m001/2", "m002/1"} for config in fleet.config.values())
     assert fleet.now < TIMES.repair_after_ms + 2000.0
-    again = fleet.placing.apply(0.0, Enrol(id="x", name="m001", who=old, hall="b"))
+    again = fleet.placing.apply(0.0, EnrolMember(id="x", name="m001", who=old, hall="b"))
     assert isinstance(again.error, StaleIncarnation)
 
 
@@ -615,7 +637,7 @@
     fleet = Groups(["a", "b"] * 4)
     voters = fleet.config["g0"].voters
     for who in voters[:2]:
-        fleet.kill(name_of(who))
+        fleet.kill(member_name(who))
     for _ in range(100):
         fleet.step()
     assert fleet.config["g0"].voters == voters, "it can take nobody in"
@@ -625,13 +647,13 @@
         if sum(who in fleet.alive.values() for who in config.voters) >= 2
     )
     fleet = Groups(["a", "b"] * 3)
-    fleet.kill(name_of(fleet.config["g0"].voters[0]))
+    fleet.kill(member_name(fleet.config["g0"].voters[0]))
     fleet.behind = tuple(fleet.alive.values())
     while not fleet.placing.moves:
         fleet.step()
     new = next(iter(fleet.placing.moves.values())).new
     fleet.step()
-    fleet.kill(name_of(new))
+    fleet.kill(member_name(new))
     fleet.behind = ()
     fleet.settle()
     assert not any(config.learners or new in config.voters for config in fleet.config.values())
@@ -639,7 +661,7 @@
 
 def test_a_newcomer_that_never_catches_up_makes_room_for_another() -> None:
     fleet = Groups(["a", "b"] * 3, groups=1)
-    fleet.kill(name_of(fleet.config["g0"].voters[0]))
+    fleet.kill(member_name(fleet.config["g0"].voters[0]))
     while not fleet.placing.moves:
         fleet.step()
     stuck = next(iter(fleet.placing.moves.values())).new
@@ -653,7 +675,7 @@
 def test_a_newcomer_that_was_lost_meanwhile_is_taken_again_when_it_is_back() -> None:
     """It was kept out for a minute as if it had been too slow, and of three members there is no other."""
     fleet = Groups(["a"] * 3, groups=1)
-    name = name_of(fleet.config["g0"].voters[0])
+    name = member_name(fleet.config["g0"].voters[0])
     fleet.kill(name)
     fleet.back(name, 2)
     while not fleet.placing.moves:
@@ -692,34 +714,41 @@
     before, voters = fleet.placing.dump(), fleet.config["g0"].voters
     other = next(who for who in fleet.alive.values() if who not in voters)
     for command in (
-        Enrol(id="1", name="m", who="n/1", hall="a"),
-        Enrol(id="1", name="m", who="m/", hall="a"),
-        Replace(id="2", group="g0", lost="", new="", most=2),
-        Replace(id="2", group="nix", lost="", new="a/1", most=2),
-        Replace(id="3", group="g0", lost=other, new=voters[0], most=2),
-        Replace(id="4", group="g0", lost=voters[0], new="m009/1", most=2),
-        Replace(id="5", group="g0", lost=voters[0], new=other, most=0),
-        Moved(id="6", group="g0", voters=(), number=1),
-        Forgo(id="7", group="g0", new="x", why=""),
+        EnrolMember(id="1", name="m", who="n/1", hall="a"),
+        EnrolMember(id="1", name="m", who="m/", hall="a"),
+        ReplaceReplica(id="2", group="g0", lost="", new="", most=2),
+        ReplaceReplica(id="2", group="nix", lost="", new="a/1", most=2),
+        ReplaceReplica(id="3", group="g0", lost=other, new=voters[0], most=2),
+        ReplaceReplica(id="4", group="g0", lost=voters[0], new="m009/1", most=2),
+        ReplaceReplica(id="5", group="g0", lost=voters[0], new=other, most=0),
+        ReplicaMoved(id="6", group="g0", voters=(), number=1),
+        CancelMove(id="7", group="g0", new="x", why=""),
     ):
         assert fleet.placing.apply(0.0, command).error is not None
         assert fleet.placing.dump() == before
-    assert isinstance(fleet.placing.apply(0.0, Moved(id="6", group="g0", voters=(), number=1)).error, BadCall)
-    assert fleet.placing.apply(0.0, Moved(id="8", group="g0", voters=voters, number=5)).error is None
-    assert fleet.placing.apply(0.0, Moved(id="9", group="g0", voters=voters[:1], number=4)).error is not None
-    for at, error in enumerate([None, None, Crowded]):  # two at one time
+    assert isinstance(
+        fleet.placing.apply(0.0, ReplicaMoved(id="6", group="g0", voters=(), number=1)).error, InvalidCall
+    )
+    assert fleet.placing.apply(0.0, ReplicaMoved(id="8", group="g0", voters=voters, number=5)).error is None
+    assert (
+        fleet.placing.apply(0.0, ReplicaMoved(id="9", group="g0", voters=voters[:1], number=4)).error
+        is not None
+    )
+    for at, error in enumerate([None, None, Overloaded]):  # two at one time
         held = fleet.config[f"g{at}"].voters
         new = next(who for who in fleet.alive.values() if who not in held)
-        told = fleet.placing.apply(0.0, Replace(id=f"r{at}", group=f"g{at}", lost=held[0], new=new, most=2))
+        told = fleet.placing.apply(
+            0.0, ReplaceReplica(id=f"r{at}", group=f"g{at}", lost=held[0], new=new, most=2)
+        )
         assert type(told.error) is (error or type(None))
 
 
 def test_a_group_is_forced_once_and_one_voter_at_a_time() -> None:
-    base = Snapshot(7, 3, Config(("a/1", "b/1", "c/1"), ("d/1",)), b"")
-    saved = Saved(4, "a/1", base, ())
+    base = Snapshot(7, 3, GroupConfiguration(("a/1", "b/1", "c/1"), ("d/1",)), b"")
+    saved = PersistedGroup(4, "a/1", base, ())
     made = forced(saved, "g0", "b/1", ("a/1", "c/1"), 1e12)
-    log = Log.load(made)
-    assert log.config == Config(("b/1",)) and made.term == 4 + FORCED_TERMS and made.vote == "b/1"
+    log = RaftLog.load(made)
+    assert log.config == GroupConfiguration(("b/1",)) and made.term == 4 + FORCED_TERMS and made.vote == "b/1"
     assert [entry.kind for entry in made.entries] == [CONFIG, CONFIG, NOTHING]
     sizes = [len(config.voters) for config in (log.config_at(at) for at in (7, 8, 9)) if config is not None]
     assert sizes == [3, 2, 1]
@@ -732,25 +761,25 @@
     me = Membership(
         "a/1", "x", [Member("a", "x"), Member("b", "x"), Member("c", "x")], TIMES, random.Random(1), 0.0
     )
-    gossip = tuple(Rumour(f"{name}/1", state, 0, "c/1") for name, state in (("c", 0), ("b", 1)))
-    me.handle(10.0, Received("c/1", Ping(1, "a/1", gossip)))
+    gossip = tuple(GossipUpdate(f"{name}/1", state, 0, "c/1") for name, state in (("c", 0), ("b", 1)))
+    me.handle(10.0, MessageReceived("c/1", Ping(1, "a/1", gossip)))
     for _ in range(20):  # also long after the rumour was told often enough
-        answer: Any = me.handle(11.0, Received("b/1", Ping(1, "a/1", ())))[0]
-        assert answer.message.gossip[0] == Rumour("b/1", 1, 0, "c/1")
+        answer: Any = me.handle(11.0, MessageReceived("b/1", Ping(1, "a/1", ())))[0]
+        assert answer.message.gossip[0] == GossipUpdate("b/1", 1, 0, "c/1")
     other = Membership("b/1", "x", [Member("a", "x"), Member("b", "x")], TIMES, random.Random(1), 0.0)
-    said: Any = other.handle(12.0, Received("a/1", Ping(1, "b/1", answer.message.gossip)))
-    assert Rumour("b/1", 0, 1) in said[1].message.gossip
-    me.handle(13.0, Received("b/1", said[1].message))
+    said: Any = other.handle(12.0, MessageReceived("a/1", Ping(1, "b/1", answer.message.gossip)))
+    assert GossipUpdate("b/1", 0, 1) in said[1].message.gossip
+    me.handle(13.0, MessageReceived("b/1", said[1].message))
     assert me.state_of("b") == "alive"
 
 
 def test_an_answer_counts_for_the_probe_it_answers() -> None:
     me = Membership("a/1", "x", [Member("a", "x"), Member("b", "x")], TIMES, random.Random(1), 0.0)
-    ping = next(one for one in me.handle(me.due, Tick()) if isinstance(one, Send))
+    ping = next(one for one in me.handle(me.due, Tick()) if isinstance(one, SendMessage))
     assert ping.to == "b/" and isinstance(ping.message, Ping)
-    me.handle(me.due - 1.0, Received("b/9", Ack(ping.message.seq + 1, "b/9", ())))
+    me.handle(me.due - 1.0, MessageReceived("b/9", Ack(ping.message.seq + 1, "b/9", ())))
     assert me.ids()["b"] == "b/"
-    me.handle(me.due - 1.0, Received("b/9", Ack(ping.message.seq, "b/9", ())))
+    me.handle(me.due - 1.0, MessageReceived("b/9", Ack(ping.message.seq, "b/9", ())))
     assert me.ids()["b"] == "b/9" and me.alive() == {"a/1", "b/9"}
 
 
@@ -758,10 +787,12 @@
     me = Membership("b/1", "x", [Member("a", "x"), Member("b", "x")], TIMES, random.Random(1), 0.0)
     for turn in range(60):  # also long after it was told often enough
         answers: list[Any] = me.handle(
-            10.0 + turn, Received("a/1", Ping(turn, "b/1", (Rumour("b/1", 2, 0, "a/1"),)))
+            10.0 + turn, MessageReceived("a/1", Ping(turn, "b/1", (GossipUpdate("b/1", 2, 0, "a/1"),)))
+        )
+        ack = next(
+            one.message for one in answers if isinstance(one, SendMessage) and isinstance(one.message, Ack)
         )
-        ack = next(one.message for one in answers if isinstance(one, Send) and isinstance(one.message, Ack))
-        assert Rumour("b/1", 0, 1) in ack.gossip
+        assert GossipUpdate("b/1", 0, 1) in ack.gossip
 
 
 def test_two_that_know_only_each_others_lost_ids_find_each_other() -> None:
@@ -778,8 +809,9 @@
         for who, me in made.items():
             for one in me.handle(float(now), Tick()) if me.due <= now else ():
                 other = "b/2" if who == "a/2" else "a/2"
-                if isinstance(one, Send) and one.to in (other, name_of(other) + "/"):  # to that Id, or nobody
-                    for answer in made[other].handle(float(now), Received(who, one.message)):
-                        if isinstance(answer, Send):
-                            me.handle(float(now), Received(other, answer.message))
+                # to that Id, or nobody
+                if isinstance(one, SendMessage) and one.to in (other, member_name(other) + "/"):
+                    for answer in made[other].handle(float(now), MessageReceived(who, one.message)):
+                        if isinstance(answer, SendMessage):
+                            me.handle(float(now), MessageReceived(other, answer.message))
     assert made["a/2"].alive() == made["b/2"].alive() == {"a/2", "b/2"}
