--- a/tests/cluster/test_regressions.py
+++ b/tests/cluster/test_regressions.py
@@ -21,112 +21,127 @@
 
 from badgeryoke.cluster import key_value, unreported_usage
 from badgeryoke.cluster import node as fleet_node
-from badgeryoke.cluster.bootstrap import Founding, Record
+from badgeryoke.cluster.bootstrap import Bootstrap, BootstrapRecord
 from badgeryoke.cluster.connection_limits import (
     CLOSING_MS,
     LEASES,
     OVER,
     RESET_MS,
-    Connections,
-    ConnEnd,
-    ConnLeases,
-    Keeper,
-    Limit,
-    Unlimit,
+    ConnectionLeaseHolder,
+    ConnectionLimits,
+    ReleaseConnectionLeases,
+    RemoveConnectionLimit,
+    RequestConnectionLeases,
+    SetConnectionLimit,
     bucket,
 )
 from badgeryoke.cluster.errors import (
-    BadCall,
     BadFrame,
-    Crowded,
+    DuplicateId,
+    InsufficientCapacity,
+    InvalidCall,
     InvariantBroken,
-    LeaseOver,
+    LeaseExpired,
     NoLeader,
-    NoRoom,
-    NotThere,
-    StoreDamaged,
-    StoreFailed,
-    TakenId,
+    NotFound,
+    Overloaded,
+    StorageDamaged,
+    StorageFailed,
     UnknownOutcome,
     WrongState,
 )
 from badgeryoke.cluster.events import (
-    Call,
-    Change,
-    Done,
+    ChangeMembership,
+    ClusterCall,
     Effect,
-    HandOver,
     HardState,
-    Leave,
-    Propose,
-    Read,
-    Received,
-    Saved,
-    Say,
-    Send,
+    LeaveCluster,
+    LogEvent,
+    MessageReceived,
+    OperationCompleted,
+    PersistedGroup,
+    PersistRecords,
+    ProposeCommand,
+    ReadIndexRequest,
+    RecordsPersisted,
+    SendMessage,
     Snapshot,
-    Store,
-    StoreBroke,
-    Stored,
+    StorageFailure,
     Tick,
+    TransferLeadership,
 )
-from badgeryoke.cluster.invariants import Broken, Invariants, Rule
-from badgeryoke.cluster.leases.lease_pool import MOST_GAP_MS, Divided
+from badgeryoke.cluster.invariants import Invariants, InvariantViolation, Rule
+from badgeryoke.cluster.leases.lease_pool import MOST_GAP_MS, LeasePool
 from badgeryoke.cluster.membership.protocol import DEAD, SUSPECT, Membership
 from badgeryoke.cluster.messages import (
     COMMAND,
     CONFIG,
     VERSION,
     Ack,
-    Append,
-    Appended,
-    Ask,
-    Config,
-    Entry,
+    Announce,
+    AppendEntries,
+    AppendEntriesReply,
+    ClusterFounded,
     Envelope,
-    Forward,
-    Found,
-    IAm,
-    Lead,
-    Piece,
-    PieceTaken,
+    ForwardedCall,
+    ForwardedReply,
+    GossipUpdate,
+    GroupConfiguration,
+    IdentityQuery,
+    InstallSnapshotChunk,
+    InstallSnapshotChunkReply,
+    LogEntry,
     Ping,
-    Reply,
-    Rumour,
-    Vote,
-    WhoAreYou,
-    name_of,
+    RequestVote,
+    RequestVoteReply,
+    TimeoutNow,
+    member_name,
 )
-from badgeryoke.cluster.node import LATE_MS, Member, Node, Setup
+from badgeryoke.cluster.node import LATE_MS, ClusterNode, Member, NodeSetup
 from badgeryoke.cluster.node_setup import FOUNDING
-from badgeryoke.cluster.placement.directory import Enrol, Held, Moved, Placing, Replace, copies_for, group_of
-from badgeryoke.cluster.raft.log import Log, encode_config
-from badgeryoke.cluster.raft.node import MOST_BODY, MOST_HELD, MOST_SNAPSHOT, Replica, Role
+from badgeryoke.cluster.placement.directory import (
+    EnrolMember,
+    GroupPlacement,
+    PlacementDirectory,
+    ReplaceReplica,
+    ReplicaMoved,
+    copies_for,
+    group_of,
+)
+from badgeryoke.cluster.raft.log import RaftLog, encode_config
+from badgeryoke.cluster.raft.node import MOST_BODY, MOST_HELD, MOST_SNAPSHOT, RaftNode, Role
 from badgeryoke.cluster.reservations import contract
 from badgeryoke.cluster.reservations import lease_client as floor_module
-from badgeryoke.cluster.reservations.contract import Capacity, Contracts, Floors, Lease, Terms, Window
-from badgeryoke.cluster.reservations.lease_client import Floor
+from badgeryoke.cluster.reservations.contract import (
+    ContractRegistry,
+    ContractTerms,
+    GuaranteedRates,
+    RequestLease,
+    SetCapacity,
+    Window,
+)
+from badgeryoke.cluster.reservations.lease_client import ReservationClient
 from badgeryoke.cluster.rolling_restart.restart import (
     FRESH_MS,
     GRANT_MS,
-    Duty,
-    Facts,
-    RollAsk,
-    RollCancel,
-    Rolled,
-    RollReport,
-    Rolls,
-    RollStep,
-    RollTurn,
-    RollWave,
+    CancelRollingRestart,
+    ClusterConditions,
+    DesiredState,
+    RecordGatewayEvent,
+    RecordRestartEvent,
+    ReportGateway,
+    RollingRestartAgent,
+    RollingRestarts,
+    StartRollingRestart,
+    StartWave,
 )
-from badgeryoke.cluster.rolling_restart.restart import State as RollState
+from badgeryoke.cluster.rolling_restart.restart import RestartState as RollState
 from badgeryoke.cluster.state_machine import machine as fleet_state
-from badgeryoke.cluster.state_machine.machine import GroupState, decode, encode
-from badgeryoke.cluster.state_machine.part import FLEET, Applied, Command, View
+from badgeryoke.cluster.state_machine.machine import GroupStateMachine, decode, encode
+from badgeryoke.cluster.state_machine.part import FLEET, ApplyResult, Command, LeaderView
 from badgeryoke.cluster.timings import Timings
 from badgeryoke.gateway.cluster.admin_calls import read_call
-from badgeryoke.gateway.cluster.storage import NAME, TOLD, Disk, open_store
+from badgeryoke.gateway.cluster.storage import NAME, TOLD, ClusterStorage, open_store
 from badgeryoke.gateway.cluster.transport import read as links_read
 from badgeryoke.testbed.cluster_simulation.clock import UNIX_MS
 from badgeryoke.testbed.cluster_simulation.fault_plan import Plan
@@ -142,31 +157,35 @@
 EMPTY = msgspec.msgpack.encode([])
 
 
-def entry(index: int, term: int, body: bytes = b"x", kind: int = COMMAND) -> Entry:
-    return Entry(index, term, kind, body)
+def entry(index: int, term: int, body: bytes = b"x", kind: int = COMMAND) -> LogEntry:
+    return LogEntry(index, term, kind, body)
 
 
-def copy(term: int, *terms: int, vote: str = "") -> tuple[Replica, Kept]:
+def copy(term: int, *terms: int, vote: str = "") -> tuple[RaftNode, Kept]:
     """a/1 of three, with entries of these terms; nothing is known as committed."""
     return alone(
-        Saved(
+        PersistedGroup(
             term, vote, Snapshot(0, 0, THREE, EMPTY), tuple(entry(at, one) for at, one in enumerate(terms, 1))
         )
     )
 
 
-def leading(term: int, *terms: int) -> tuple[Replica, Kept]:
+def leading(term: int, *terms: int) -> tuple[RaftNode, Kept]:
     """The same as the leader of `term`, which only itself has an entry of yet."""
     replica, machine = copy(term - 1, *terms)
     replica.handle(replica.due, Tick())
-    made = replica.handle(2000.0, Received("b/1", Vote("g", term, True, True)))
+    made = replica.handle(2000.0, MessageReceived("b/1", RequestVoteReply("g", term, True, True)))
     stored(replica, 2000.0, made)
-    stored(replica, 2000.0, replica.handle(2000.0, Received("b/1", Vote("g", term, True, False))))
+    stored(
+        replica,
+        2000.0,
+        replica.handle(2000.0, MessageReceived("b/1", RequestVoteReply("g", term, True, False))),
+    )
     assert replica.role is Role.LEADER and replica.term == term
     return replica, machine
 
 
-def match(replica: Replica, who: str) -> int:
+def match(replica: RaftNode, who: str) -> int:
     return int(replica.status(0.0)["members"][who]["match"])
 
 
@@ -188,8 +207,8 @@
     pre: bool, last_index: int, last_term: int, granted: bool
 ) -> None:
     replica, _ = copy(4, 1, 3)
-    made = replica.handle(5000.0, Received("b/1", Ask("g", 5, last_index, last_term, pre)))
-    votes = sent(made + stored(replica, 5000.0, made), Vote)
+    made = replica.handle(5000.0, MessageReceived("b/1", RequestVote("g", 5, last_index, last_term, pre)))
+    votes = sent(made + stored(replica, 5000.0, made), RequestVoteReply)
     assert [vote.granted for vote in votes] == [granted]
 
 
@@ -197,28 +216,30 @@
     replica, _ = copy(4, 1)
     for _ in range(2):  # it stands twice, and has no vote but its own
         replica.handle(replica.due, Tick())
-        made = replica.handle(replica.due - 1.0, Received("b/1", Vote("g", replica.term + 1, True, True)))
+        made = replica.handle(
+            replica.due - 1.0, MessageReceived("b/1", RequestVoteReply("g", replica.term + 1, True, True))
+        )
         stored(replica, replica.due - 1.0, made)
     assert replica.role is Role.CANDIDATE and replica.term == 6
-    replica.handle(replica.due - 1.0, Received("c/1", Vote("g", 5, True, False)))
+    replica.handle(replica.due - 1.0, MessageReceived("c/1", RequestVoteReply("g", 5, True, False)))
     assert replica.role is Role.CANDIDATE
 
 
 def test_what_waited_for_the_store_is_not_told_in_a_later_term() -> None:
     replica, _ = copy(4, 1)
-    held = replica.handle(5000.0, Received("b/1", Ask("g", 5, 9, 9, False)))
-    later = replica.handle(5001.0, Received("c/1", Append("g", 6, 1, 1, (), 0, 1)))
+    held = replica.handle(5000.0, MessageReceived("b/1", RequestVote("g", 5, 9, 9, False)))
+    later = replica.handle(5001.0, MessageReceived("c/1", AppendEntries("g", 6, 1, 1, (), 0, 1)))
     told = stored(replica, 5002.0, held + later)
-    assert replica.term == 6 and not sent(told, Vote)
+    assert replica.term == 6 and not sent(told, RequestVoteReply)
 
 
 def test_a_late_word_to_stand_is_not_heeded() -> None:
     replica, _ = copy(4, 1)
-    replica.handle(10.0, Received("b/1", Append("g", 5, 1, 1, (), 0, 1)))
+    replica.handle(10.0, MessageReceived("b/1", AppendEntries("g", 5, 1, 1, (), 0, 1)))
     for who, term in (("b/1", 4), ("c/1", 5)):
-        replica.handle(11.0, Received(who, Lead("g", term)))
+        replica.handle(11.0, MessageReceived(who, TimeoutNow("g", term)))
         assert replica.role is Role.FOLLOWER and replica.term == 5
-    replica.handle(12.0, Received("b/1", Lead("g", 5)))
+    replica.handle(12.0, MessageReceived("b/1", TimeoutNow("g", 5)))
     assert replica.role is Role.CANDIDATE
 
 
@@ -228,50 +249,54 @@
 
 def test_a_leader_believes_only_answers_that_can_be_meant_for_it() -> None:
     replica, machine = leading(5, 1, 1, 1)
-    replica.handle(2001.0, Received("b/1", Appended("g", 5, True, 3, 1)))
+    replica.handle(2001.0, MessageReceived("b/1", AppendEntriesReply("g", 5, True, 3, 1)))
     assert match(replica, "b/1") == 3
-    replica.handle(2002.0, Received("b/1", Appended("g", 5, True, 2, 1)))
+    replica.handle(2002.0, MessageReceived("b/1", AppendEntriesReply("g", 5, True, 2, 1)))
     assert match(replica, "b/1") == 3  # a late one takes nothing back
     for wrong in (
-        Appended("g", 4, True, 4, 1),  # of a term before
-        Appended("g", 5, True, 9, 1),  # beyond the log
-        Appended("g", 5, True, 4, 99),
+        AppendEntriesReply("g", 4, True, 4, 1),  # of a term before
+        AppendEntriesReply("g", 5, True, 9, 1),  # beyond the log
+        AppendEntriesReply("g", 5, True, 4, 99),
     ):  # to a round that never began
-        replica.handle(2003.0, Received("c/1", wrong))
+        replica.handle(2003.0, MessageReceived("c/1", wrong))
         assert match(replica, "c/1") == 0 and replica.commit == 0 and not machine.rows
-    replica.handle(2004.0, Received("c/1", Appended("g", 5, True, 4, 1)))
+    replica.handle(2004.0, MessageReceived("c/1", AppendEntriesReply("g", 5, True, 4, 1)))
     assert replica.commit == 4
 
 
 def test_a_round_that_never_began_answers_no_read() -> None:
     replica, _ = leading(5, 1)
-    replica.handle(2001.0, Received("b/1", Appended("g", 5, True, 2, 1)))
+    replica.handle(2001.0, MessageReceived("b/1", AppendEntriesReply("g", 5, True, 2, 1)))
     assert replica.leading
-    made = replica.handle(2002.0, Read("r"))
-    for told in (Appended("g", 5, True, 2, 99), Appended("g", 4, True, 2, 2), Appended("g", 5, True, 2, 1)):
-        made += replica.handle(2003.0, Received("b/1", told))
-    assert not [one for one in made if isinstance(one, Done)]
-    made = replica.handle(2004.0, Received("b/1", Appended("g", 5, True, 2, 2)))
-    assert [one for one in made if isinstance(one, Done)] == [Done("r", None)]
+    made = replica.handle(2002.0, ReadIndexRequest("r"))
+    for told in (
+        AppendEntriesReply("g", 5, True, 2, 99),
+        AppendEntriesReply("g", 4, True, 2, 2),
+        AppendEntriesReply("g", 5, True, 2, 1),
+    ):
+        made += replica.handle(2003.0, MessageReceived("b/1", told))
+    assert not [one for one in made if isinstance(one, OperationCompleted)]
+    made = replica.handle(2004.0, MessageReceived("b/1", AppendEntriesReply("g", 5, True, 2, 2)))
+    assert [one for one in made if isinstance(one, OperationCompleted)] == [OperationCompleted("r", None)]
 
 
 def test_members_change_only_behind_an_entry_of_the_leaders_own_term() -> None:
     replica, _ = leading(5, 1)
-    made = replica.handle(2001.0, Change("t", "learn", "d/1"))
-    assert [type(one.result) for one in made if isinstance(one, Done)] == [WrongState]
+    made = replica.handle(2001.0, ChangeMembership("t", "learn", "d/1"))
+    assert [type(one.result) for one in made if isinstance(one, OperationCompleted)] == [WrongState]
     assert replica.config == THREE
 
 
 def test_the_lead_goes_to_nobody_who_lacks_an_entry() -> None:
     replica, _ = leading(5, 1)
-    made = replica.handle(2001.0, Received("b/1", Appended("g", 5, True, 2, 1)))
-    made += replica.handle(2002.0, Propose("p", b"p"))
-    made += replica.handle(2003.0, HandOver("b/1"))
+    made = replica.handle(2001.0, MessageReceived("b/1", AppendEntriesReply("g", 5, True, 2, 1)))
+    made += replica.handle(2002.0, ProposeCommand("p", b"p"))
+    made += replica.handle(2003.0, TransferLeadership("b/1"))
     stored(replica, 2003.0, made)
-    assert not sent(made, Lead)
-    assert isinstance(replica.handle(2004.0, Propose("q", b"q"))[-1].result, NoLeader)  # type: ignore[union-attr]
-    made = replica.handle(2005.0, Received("b/1", Appended("g", 5, True, 3, 1)))
-    assert sent(made, Lead) == [Lead("g", 5)]
+    assert not sent(made, TimeoutNow)
+    assert isinstance(replica.handle(2004.0, ProposeCommand("q", b"q"))[-1].result, NoLeader)  # type: ignore[union-attr]
+    made = replica.handle(2005.0, MessageReceived("b/1", AppendEntriesReply("g", 5, True, 3, 1)))
+    assert sent(made, TimeoutNow) == [TimeoutNow("g", 5)]
 
 
 # What a follower takes
@@ -280,7 +305,7 @@
 
 def test_a_follower_commits_only_what_matches_the_leaders_log() -> None:
     replica, machine = copy(4, 1, 2, 2)
-    replica.handle(10.0, Received("b/1", Append("g", 5, 1, 1, (), 3, 1)))
+    replica.handle(10.0, MessageReceived("b/1", AppendEntries("g", 5, 1, 1, (), 3, 1)))
     assert replica.commit == 1 and machine.rows == [(1, b"x")]
 
 
@@ -288,23 +313,31 @@
     """Entries 2 and 3 were stored, and are cut; the new 2 and 3 are acknowledged when they are stored, not
     before."""
     replica, _ = copy(4, 1, 2, 2)
-    made = replica.handle(10.0, Received("b/1", Append("g", 5, 1, 1, (entry(2, 5), entry(3, 5)), 0, 1)))
-    assert [one.index for one in sent(made, Appended)] == [1]
-    assert 3 in [one.index for one in sent(stored(replica, 11.0, made), Appended)]
+    made = replica.handle(
+        10.0, MessageReceived("b/1", AppendEntries("g", 5, 1, 1, (entry(2, 5), entry(3, 5)), 0, 1))
+    )
+    assert [one.index for one in sent(made, AppendEntriesReply)] == [1]
+    assert 3 in [one.index for one in sent(stored(replica, 11.0, made), AppendEntriesReply)]
 
 
 def test_a_store_under_way_makes_nothing_safe_that_was_cut_meanwhile() -> None:
     replica, _ = copy(4, 1)
-    first = replica.handle(10.0, Received("b/1", Append("g", 5, 1, 1, (entry(2, 5), entry(3, 5)), 0, 1)))
-    second = replica.handle(11.0, Received("c/1", Append("g", 6, 1, 1, (entry(2, 6), entry(3, 6)), 0, 1)))
+    first = replica.handle(
+        10.0, MessageReceived("b/1", AppendEntries("g", 5, 1, 1, (entry(2, 5), entry(3, 5)), 0, 1))
+    )
+    second = replica.handle(
+        11.0, MessageReceived("c/1", AppendEntries("g", 6, 1, 1, (entry(2, 6), entry(3, 6)), 0, 1))
+    )
     told = stored(replica, 12.0, first)
-    told += replica.handle(13.0, Received("c/1", Append("g", 6, 3, 6, (), 0, 2)))
-    assert max((one.index for one in sent(told, Appended)), default=0) <= 1
-    assert 3 in [one.index for one in sent(stored(replica, 14.0, second), Appended)]
+    told += replica.handle(13.0, MessageReceived("c/1", AppendEntries("g", 6, 3, 6, (), 0, 2)))
+    assert max((one.index for one in sent(told, AppendEntriesReply)), default=0) <= 1
+    assert 3 in [one.index for one in sent(stored(replica, 14.0, second), AppendEntriesReply)]
 
 
-def pieces(index: int, index_term: int, body: bytes, config: Config = THREE) -> Callable[..., Piece]:
-    return lambda term, offset, size: Piece(
+def pieces(
+    index: int, index_term: int, body: bytes, config: GroupConfiguration = THREE
+) -> Callable[..., InstallSnapshotChunk]:
+    return lambda term, offset, size: InstallSnapshotChunk(
         "g", term, index, index_term, config, offset, len(body), body[offset : offset + size], 1
     )
 
@@ -313,25 +346,30 @@
     """Its entry 3 is of another term: what lies behind is another leader's, stored or not."""
     replica, machine = copy(4, 1, 2, 2, 2)
     body = msgspec.msgpack.encode([(1, b"x"), (2, b"y"), (3, b"z")])
-    made = replica.handle(10.0, Received("b/1", pieces(3, 5, body)(6, 0, 99)))
+    made = replica.handle(10.0, MessageReceived("b/1", pieces(3, 5, body)(6, 0, 99)))
     assert (replica.last, replica.commit, machine.rows[-1]) == (3, 3, (3, b"z"))
-    assert not [one for one in sent(made, Appended) if one.index]  # neither stored nor told
-    assert 3 in [one.index for one in sent(stored(replica, 11.0, made), Appended)]
+    assert not [one for one in sent(made, AppendEntriesReply) if one.index]  # neither stored nor told
+    assert 3 in [one.index for one in sent(stored(replica, 11.0, made), AppendEntriesReply)]
 
 
 @pytest.mark.parametrize(
     "other",
     [
-        lambda: Received("c/1", pieces(3, 5, b"zzzzzzzzzz")(6, 0, 3)),  # another leader's, as long
-        lambda: Received("b/1", pieces(3, 5, b"zzzzzzzzzz")(6, 0, 3)),  # of the same member in a later term
-        lambda: Received("b/1", pieces(4, 5, b"zzzzzzzzzz")(5, 0, 3)),  # a later one of the same leader
+        lambda: MessageReceived("c/1", pieces(3, 5, b"zzzzzzzzzz")(6, 0, 3)),  # another leader's, as long
+        # of the same member in a later term
+        lambda: MessageReceived("b/1", pieces(3, 5, b"zzzzzzzzzz")(6, 0, 3)),
+        # a later one of the same leader
+        lambda: MessageReceived("b/1", pieces(4, 5, b"zzzzzzzzzz")(5, 0, 3)),
     ],
 )
-def test_pieces_of_two_snapshots_are_not_put_together(other: Callable[[], Received]) -> None:
+def test_pieces_of_two_snapshots_are_not_put_together(other: Callable[[], MessageReceived]) -> None:
     replica, _ = copy(4, 1)
     first = pieces(3, 5, b"yyyyyyyyyy")
-    assert sent(replica.handle(10.0, Received("b/1", first(5, 0, 4))), PieceTaken)[0].held == 4
-    assert sent(replica.handle(11.0, other()), PieceTaken)[0].held == 3
+    assert (
+        sent(replica.handle(10.0, MessageReceived("b/1", first(5, 0, 4))), InstallSnapshotChunkReply)[0].held
+        == 4
+    )
+    assert sent(replica.handle(11.0, other()), InstallSnapshotChunkReply)[0].held == 3
 
 
 def test_a_snapshot_bears_the_members_and_the_term_of_its_last_entry() -> None:
@@ -339,21 +377,21 @@
     one."""
     count = TIMINGS.snapshot_entries
     terms = [1] * count
-    saved = Saved(
+    saved = PersistedGroup(
         4,
         "",
         Snapshot(0, 0, THREE, EMPTY),
         (
             *(entry(at, one) for at, one in enumerate(terms, 1)),
-            entry(count + 1, 2, encode_config(Config(THREE.voters, ("d/1",))), CONFIG),
+            entry(count + 1, 2, encode_config(GroupConfiguration(THREE.voters, ("d/1",))), CONFIG),
         ),
     )
     replica, _ = alone(saved)
-    made = replica.handle(10.0, Received("b/1", Append("g", 5, count + 1, 2, (), count, 1)))
+    made = replica.handle(10.0, MessageReceived("b/1", AppendEntries("g", 5, count + 1, 2, (), count, 1)))
     shots = [
         record
         for one in made
-        if isinstance(one, Store)
+        if isinstance(one, PersistRecords)
         for record in one.records
         if isinstance(record, Snapshot)
     ]
@@ -361,24 +399,24 @@
 
 
 def test_a_log_is_loaded_without_entries_that_a_snapshot_overtook() -> None:
-    saved = Saved(5, "", Snapshot(3, 4, THREE, EMPTY), (entry(4, 2), entry(5, 2)))
-    assert Log.load(saved).last == 3
+    saved = PersistedGroup(5, "", Snapshot(3, 4, THREE, EMPTY), (entry(4, 2), entry(5, 2)))
+    assert RaftLog.load(saved).last == 3
 
 
 def test_a_batch_is_bounded_in_bytes_and_a_refusal_points_behind_what_is_committed() -> None:
-    log = Log(0, 0, THREE, tuple(entry(at, 1, b"x" * 100) for at in range(1, 9)))
+    log = RaftLog(0, 0, THREE, tuple(entry(at, 1, b"x" * 100) for at in range(1, 9)))
     assert len(log.some(1, 8, 250)) == 2 and len(log.some(1, 8, 10)) == 1
     assert log.first_of_term(8, 5) == 5
 
 
 def test_a_long_body_is_refused_and_what_waits_for_the_store_is_bounded() -> None:
     replica, _ = leading(5, 1)
-    made = replica.handle(2001.0, Propose("p", b"x" * (MOST_BODY + 1)))
-    assert [type(one.result) for one in made if isinstance(one, Done)] == [BadCall]
+    made = replica.handle(2001.0, ProposeCommand("p", b"x" * (MOST_BODY + 1)))
+    assert [type(one.result) for one in made if isinstance(one, OperationCompleted)] == [InvalidCall]
     follower, _ = copy(4, 1)
-    follower.handle(10.0, Received("b/1", Append("g", 5, 1, 1, (entry(2, 5),), 0, 1)))
+    follower.handle(10.0, MessageReceived("b/1", AppendEntries("g", 5, 1, 1, (entry(2, 5),), 0, 1)))
     for round_ in range(2, MOST_HELD + 10):
-        follower.handle(10.0, Received("b/1", Append("g", 5, 1, 1, (entry(2, 5),), 0, round_)))
+        follower.handle(10.0, MessageReceived("b/1", AppendEntries("g", 5, 1, 1, (entry(2, 5),), 0, round_)))
     assert len(follower._held) == MOST_HELD
 
 
@@ -393,89 +431,94 @@
 def test_an_incarnation_that_is_over_is_neither_heard_nor_answered() -> None:
     me = watcher()
     for who in ("c/1", "b/1", "b/2"):
-        me.handle(10.0, Received(who, Ping(1, "a/1", ())))
-    out = me.handle(11.0, Received("b/1", Ping(2, "a/1", (Rumour("c/1", DEAD, 0),))))
-    assert not [one for one in out if isinstance(one, Send)]
+        me.handle(10.0, MessageReceived(who, Ping(1, "a/1", ())))
+    out = me.handle(11.0, MessageReceived("b/1", Ping(2, "a/1", (GossipUpdate("c/1", DEAD, 0),))))
+    assert not [one for one in out if isinstance(one, SendMessage)]
     assert me.ids()["b"] == "b/2" and me.state_of("c") == "alive"
-    me.handle(12.0, Received("b/2", Ping(3, "a/1", (Rumour("c/1", DEAD, 0),))))
+    me.handle(12.0, MessageReceived("b/2", Ping(3, "a/1", (GossipUpdate("c/1", DEAD, 0),))))
     assert me.state_of("c") == "dead"  # at the count that is known as well
 
 
 def test_who_answers_is_not_buried_though_its_refutation_is_lost_and_health_comes_back() -> None:
     me = watcher()
     for who in ("b/1", "c/1"):
-        me.handle(10.0, Received(who, Ping(1, "a/1", ())))
-    me.handle(11.0, Received("c/1", Ping(2, "a/1", (Rumour("b/1", SUSPECT, 0, "c/1"),))))
+        me.handle(10.0, MessageReceived(who, Ping(1, "a/1", ())))
+    me.handle(11.0, MessageReceived("c/1", Ping(2, "a/1", (GossipUpdate("b/1", SUSPECT, 0, "c/1"),))))
     me.health = 3
     now = 11.0
     while now < 60_000.0:
         now = me.due
         for one in me.handle(now, Tick()):
-            if isinstance(one, Send) and isinstance(one.message, Ping) and one.to in ("b/1", "c/1"):
-                me.handle(now, Received(one.to, Ack(one.message.seq, one.to, ())))
+            if isinstance(one, SendMessage) and isinstance(one.message, Ping) and one.to in ("b/1", "c/1"):
+                me.handle(now, MessageReceived(one.to, Ack(one.message.seq, one.to, ())))
     assert me.state_of("b") == "suspected" and me.health == 0
 
 
-YARD = Setup("yard", "b", "1", tuple(Member(name, "x") for name in "abc"))
-FOUNDED = Record("yard", "01", "a/1", tuple((f"{name}/1", "x") for name in "abc"), 8, 3)
+YARD = NodeSetup("yard", "b", "1", tuple(Member(name, "x") for name in "abc"))
+FOUNDED = BootstrapRecord("yard", "01", "a/1", tuple((f"{name}/1", "x") for name in "abc"), 8, 3)
 
 
 def test_a_member_of_which_the_record_is_not_stored_yet_says_neither_none_nor_that() -> None:
-    node = Founding(YARD, Saved(), Random(1), 0.0)
+    node = Bootstrap(YARD, PersistedGroup(), Random(1), 0.0)
     assert [
-        type(one) for one in node.handle(1.0, Received("a/1", Found(msgspec.msgpack.encode(FOUNDED))))
-    ] == [Store]
-    assert node.handle(2.0, Received("c/1", WhoAreYou("x"))) == [] and node.record is None
-    node.handle(3.0, Stored(FOUNDING, 1))
-    assert node.handle(4.0, Received("c/1", WhoAreYou("x"))) == [
-        Send("c/1", IAm("x", msgspec.msgpack.encode(FOUNDED)))
+        type(one)
+        for one in node.handle(1.0, MessageReceived("a/1", ClusterFounded(msgspec.msgpack.encode(FOUNDED))))
+    ] == [PersistRecords]
+    assert node.handle(2.0, MessageReceived("c/1", IdentityQuery("x"))) == [] and node.record is None
+    node.handle(3.0, RecordsPersisted(FOUNDING, 1))
+    assert node.handle(4.0, MessageReceived("c/1", IdentityQuery("x"))) == [
+        SendMessage("c/1", Announce("x", msgspec.msgpack.encode(FOUNDED)))
     ]
     other = msgspec.msgpack.encode(msgspec.structs.replace(FOUNDED, founding="02"))
-    said = node.handle(5.0, Received("a/2", Found(other)))
-    assert [one.fields["error"] for one in said if isinstance(one, Say)] == ["another-fleet"]
+    said = node.handle(5.0, MessageReceived("a/2", ClusterFounded(other)))
+    assert [one.fields["error"] for one in said if isinstance(one, LogEvent)] == ["another-fleet"]
 
 
 def test_an_answer_is_never_given_back_to_an_earlier_maker() -> None:
-    node = Founding(YARD, Saved(), Random(1), 0.0)
+    node = Bootstrap(YARD, PersistedGroup(), Random(1), 0.0)
     for who in ("a/1", "a/2"):
-        assert [type(one) for one in node.handle(1.0, Received(who, WhoAreYou("x")))] == [Store]
-    assert node.handle(2.0, Received("a/1", WhoAreYou("x"))) == []
+        assert [type(one) for one in node.handle(1.0, MessageReceived(who, IdentityQuery("x")))] == [
+            PersistRecords
+        ]
+    assert node.handle(2.0, MessageReceived("a/1", IdentityQuery("x"))) == []
 
 
-def placing(halls: str = "aaaaa", groups: int = 2) -> Placing:
-    made = Placing(Timings(), Invariants())
+def placing(halls: str = "aaaaa", groups: int = 2) -> PlacementDirectory:
+    made = PlacementDirectory(Timings(), Invariants())
     made.begin(
-        Record("yard", "01", "m0/1", tuple((f"m{at}/1", hall) for at, hall in enumerate(halls)), groups, 3)
+        BootstrapRecord(
+            "yard", "01", "m0/1", tuple((f"m{at}/1", hall) for at, hall in enumerate(halls)), groups, 3
+        )
     )
     return made
 
 
-def moving() -> tuple[Placing, str, str]:
+def moving() -> tuple[PlacementDirectory, str, str]:
     """A move of g0 is under way; gives who goes and who comes."""
     made = placing()
     voters = made.groups["g0"].voters
     new = next(who for who, _ in made.members.values() if who not in voters)
-    assert made.apply(0.0, Replace(id="1", group="g0", lost=voters[0], new=new, most=2)).error is None
+    assert made.apply(0.0, ReplaceReplica(id="1", group="g0", lost=voters[0], new=new, most=2)).error is None
     return made, voters[0], new
 
 
 def test_a_copy_goes_when_the_one_in_its_place_counts() -> None:
     made, lost, new = moving()
     alive = frozenset(who for who, _ in made.members.values())
-    config = Config(made.groups["g0"].voters)
+    config = GroupConfiguration(made.groups["g0"].voters)
     acts = []
     while (change := made.wanted("g0", config, (), alive)) is not None:
         acts.append(change.act)
         config = {
-            "learn": Config(config.voters, (new,)),
-            "promote": Config((*config.voters, new)),
-            "remove": Config(tuple(who for who in config.voters if who != lost)),
+            "learn": GroupConfiguration(config.voters, (new,)),
+            "promote": GroupConfiguration((*config.voters, new)),
+            "remove": GroupConfiguration(tuple(who for who in config.voters if who != lost)),
         }[change.act]
     assert acts == ["learn", "promote", "remove"]
     gone = tuple(who for who in made.groups["g0"].voters if who != lost)
-    made.apply(0.0, Moved(id="2", group="g0", voters=gone, number=1))
+    made.apply(0.0, ReplicaMoved(id="2", group="g0", voters=gone, number=1))
     assert "g0" in made.moves  # its newcomer counts for nothing yet
-    made.apply(0.0, Moved(id="3", group="g0", voters=(*gone, new), number=2))
+    made.apply(0.0, ReplicaMoved(id="3", group="g0", voters=(*gone, new), number=2))
     assert not made.moves
 
 
@@ -483,14 +526,14 @@
     made, _, new = moving()
     held = sum(new in held.voters for held in made.groups.values())
     assert made._loads()[new] == held + 1
-    name = name_of(new)
-    assert made.apply(0.0, Enrol(id="2", name=name, who=f"{name}/2", hall="a")).error is None
+    name = member_name(new)
+    assert made.apply(0.0, EnrolMember(id="2", name=name, who=f"{name}/2", hall="a")).error is None
     assert not made.moves
 
 
 def test_copies_that_lag_are_not_whole_and_a_move_is_timed_by_what_its_leader_saw() -> None:
     made = placing()
-    view = View(
+    view = LeaderView(
         100_000.0,
         0.0,
         "m0/1",
@@ -506,7 +549,7 @@
     assert made.missing(view) == [] and not made._long(view, 0.0)
     voters = made.groups["g1"].voters
     assert made.missing(replace(view, behind={"g1": voters[:1]}))
-    made.apply(0.0, Moved(id="1", group="g1", voters=voters, number=1, behind=voters[1:2]))
+    made.apply(0.0, ReplicaMoved(id="1", group="g1", voters=voters, number=1, behind=voters[1:2]))
     assert made.missing(view)
     assert [copies_for(most, members) for most, members in ((5, 4), (4, 9), (3, 2), (3, 1))] == [3, 3, 2, 1]
 
@@ -515,12 +558,14 @@
 # --------------------------------------------------------------------------------------
 
 
-def state() -> GroupState:
-    return GroupState("g0", Timings(), Invariants())
+def state() -> GroupStateMachine:
+    return GroupStateMachine("g0", Timings(), Invariants())
 
 
-def put(made: GroupState, index: int, id_: str, name: str, value: str, at_ms: float = 1.0) -> Applied:
-    return made.apply(0.0, index, encode(at_ms, key_value.Promise(id=id_, name=name, value=value)))
+def put(
+    made: GroupStateMachine, index: int, id_: str, name: str, value: str, at_ms: float = 1.0
+) -> ApplyResult:
+    return made.apply(0.0, index, encode(at_ms, key_value.PutValue(id=id_, name=name, value=value)))
 
 
 def test_ids_answers_and_time_outlive_a_snapshot_and_the_oldest_id_goes_first(
@@ -537,13 +582,13 @@
     assert other.at_ms == 5000.0 and other.dump() == made.dump()  # and nothing is left of what was there
     for one in (made, other):
         assert put(one, 9, "o3", "n", "v3").value == "v2"  # as the first time
-        assert isinstance(put(one, 10, "o3", "n", "other").error, TakenId)
-        assert one.look(key_value.PromiseRead(id="r", name="n")).value == "v3"
+        assert isinstance(put(one, 10, "o3", "n", "other").error, DuplicateId)
+        assert one.look(key_value.ReadValue(id="r", name="n")).value == "v3"
 
 
 def test_a_lease_is_timed_from_where_its_entry_was_seen() -> None:
     made = state()
-    opened = contract.Open(
+    opened = contract.OpenContract(
         id="o",
         tenant="t",
         contract="c",
@@ -553,7 +598,9 @@
         times=((0.0, 1e9),),
         holds_from_ms=0.0,
     )
-    asked = Lease(id="1", tenant="t", contract="c", holder="a/1", number=0, keep=0.0, wish=9.0, room=0.0)
+    asked = RequestLease(
+        id="1", tenant="t", contract="c", holder="a/1", number=0, keep=0.0, wish=9.0, room=0.0
+    )
     for index, command in enumerate((opened, asked), 1):
         made.apply(700.0, index, encode(1.0, command))
     assert [one.seen for one in made.parts["floors"].held["c"].parts.held.values()] == [700.0]
@@ -563,47 +610,51 @@
     monkeypatch.setattr(key_value, "MOST_BYTES", key_value.LEAST_BYTES)
     made = state()
     assert put(made, 1, "1", "n", "v").value is None
-    assert isinstance(put(made, 2, "2", "other", "v").error, Crowded)
+    assert isinstance(put(made, 2, "2", "other", "v").error, Overloaded)
     assert put(made, 3, "3", "n", "w").value == "v"
 
 
 def test_a_batch_is_owed_until_it_is_told_and_is_given_out_once(monkeypatch: pytest.MonkeyPatch) -> None:
-    def owe(id_: str, at_ms: float = 0.0) -> Applied:
+    def owe(id_: str, at_ms: float = 0.0) -> ApplyResult:
         return made.apply(
             at_ms,
-            unreported_usage.Owe(
-                id=id_, tenant="t", by="a/1", lines=(unreported_usage.Line("n", 3.0, 1000.0),)
+            unreported_usage.RecordUsage(
+                id=id_, tenant="t", by="a/1", lines=(unreported_usage.UsageLine("n", 3.0, 1000.0),)
             ),
         )
 
-    def claim(batch: str, by: str) -> Applied:
-        return made.apply(1.0, unreported_usage.Claim(id=f"{batch}{by}", tenant="t", batch=batch, by=by))
+    def claim(batch: str, by: str) -> ApplyResult:
+        return made.apply(1.0, unreported_usage.ClaimUsage(id=f"{batch}{by}", tenant="t", batch=batch, by=by))
 
-    def told(batch: str, by: str, known: bool) -> Applied:
-        return made.apply(2.0, unreported_usage.OwedTold(id="t", tenant="t", batch=batch, by=by, known=known))
+    def told(batch: str, by: str, known: bool) -> ApplyResult:
+        return made.apply(
+            2.0, unreported_usage.ConfirmUsageReported(id="t", tenant="t", batch=batch, by=by, known=known)
+        )
 
     monkeypatch.setattr(unreported_usage, "MOST_BYTES", 2 * unreported_usage.LEAST_BYTES)
-    made = unreported_usage.Owed()
-    assert owe("1").error is None and owe("2").error is None and isinstance(owe("3").error, Crowded)
+    made = unreported_usage.UnreportedUsage()
+    assert owe("1").error is None and owe("2").error is None and isinstance(owe("3").error, Overloaded)
     assert claim("1", "b/1").value == [["n", 3.0, 1000.0]]
-    again = unreported_usage.Owed()
+    again = unreported_usage.UnreportedUsage()
     again.load(msgspec.msgpack.decode(msgspec.msgpack.encode(made.dump())))
     made = again
     # what is being told is not offered
-    assert made.look(unreported_usage.OwedRead(id="r", tenant="t")).value == ["2"]
+    assert made.look(unreported_usage.ReadUnreportedUsage(id="r", tenant="t")).value == ["2"]
     assert isinstance(claim("1", "c/1").error, WrongState) and isinstance(
-        told("1", "c/1", True).error, NotThere
+        told("1", "c/1", True).error, NotFound
     )
     assert told("1", "b/1", True).value and made.unknown == 0.0
     assert claim("2", "b/1").value and told("2", "b/1", False).value and made.unknown == 3.0
     assert owe("4").error is None and owe("5", unreported_usage.LATE_MS + 1.0).error is None
-    assert made.unknown == 6.0 and made.look(unreported_usage.OwedRead(id="r", tenant="t")).value == ["5"]
+    assert made.unknown == 6.0 and made.look(
+        unreported_usage.ReadUnreportedUsage(id="r", tenant="t")
+    ).value == ["5"]
 
 
 def test_a_holder_keeps_no_more_than_it_had_and_only_its_present_lease_ends() -> None:
-    whole, rules = Divided(10.0), Invariants()
+    whole, rules = LeasePool(10.0), Invariants()
     assert whole.ask("a", 0, 0.0, 6.0, 0.0, rules).part == 6.0  # type: ignore[union-attr]
-    assert isinstance(whole.ask("a", 1, 7.0, 7.0, 0.0, rules), BadCall)
+    assert isinstance(whole.ask("a", 1, 7.0, 7.0, 0.0, rules), InvalidCall)
     assert whole.ask("a", 1, 6.0, 6.0, 0.0, rules).number == 2  # type: ignore[union-attr]
     assert not whole.end("a", 1) and whole.granted() == 6.0
     whole.grow("a", 2.0)
@@ -612,7 +663,7 @@
 
 
 def test_a_leap_of_the_groups_time_fills_no_bucket() -> None:
-    whole = Divided(10.0, 100.0, free=0.0, at_ms=1000.0)
+    whole = LeasePool(10.0, 100.0, free=0.0, at_ms=1000.0)
     whole.accrue(3_600_000.0)
     assert whole.free == 10.0 * MOST_GAP_MS / 1000.0
 
@@ -621,31 +672,31 @@
 # ---------------------------------------------------------------
 
 
-def node(names: str = "abc", strict: bool = True, draw: int = 1) -> Node:
+def node(names: str = "abc", strict: bool = True, draw: int = 1) -> ClusterNode:
     """a/1 of a fleet that is founded, at 0 by both its clocks."""
-    record = Record("yard", "01", "a/1", tuple((f"{name}/1", "x") for name in names), 2, 3)
-    saved = Saved(snapshot=Snapshot(1, 1, Config(()), msgspec.msgpack.encode(record)))
-    setup = Setup("yard", "a", "1", tuple(Member(name, "x") for name in names), groups=2)
-    return Node(setup, {FOUNDING: saved}, Random(draw), 0.0, 1e12, Invariants(strict))
+    record = BootstrapRecord("yard", "01", "a/1", tuple((f"{name}/1", "x") for name in names), 2, 3)
+    saved = PersistedGroup(snapshot=Snapshot(1, 1, GroupConfiguration(()), msgspec.msgpack.encode(record)))
+    setup = NodeSetup("yard", "a", "1", tuple(Member(name, "x") for name in names), groups=2)
+    return ClusterNode(setup, {FOUNDING: saved}, Random(draw), 0.0, 1e12, Invariants(strict))
 
 
 def told(effects: list[Any]) -> list[Any]:
-    return [one.result for one in effects if isinstance(one, Done)]
+    return [one.result for one in effects if isinstance(one, OperationCompleted)]
 
 
-def forwards(effects: list[Any]) -> list[Forward]:
+def forwards(effects: list[Any]) -> list[ForwardedCall]:
     """Of `PUT`; a node has calls of its own as well."""
     return [
         one.message
         for one in effects
-        if isinstance(one, Send)
-        and isinstance(one.message, Forward)
-        and isinstance(decode(one.message.body)[1], key_value.Promise)
+        if isinstance(one, SendMessage)
+        and isinstance(one.message, ForwardedCall)
+        and isinstance(decode(one.message.body)[1], key_value.PutValue)
     ]
 
 
-PUT = Call("t", key_value.Promise(id="1", name="n", value="v"))
-ROOM = Applied(error=NoRoom("c", "full"))
+PUT = ClusterCall("t", key_value.PutValue(id="1", name="n", value="v"))
+ROOM = ApplyResult(error=InsufficientCapacity("c", "full"))
 LATER = UnknownOutcome("g0", "the leader changed before it was committed")
 
 
@@ -656,11 +707,11 @@
         ([(1, NoLeader("g0", "none")), (2, NoLeader("g0", "none"))], NoLeader),  # no try may have been taken
         ([(2, NoLeader("g0", "none"))], UnknownOutcome),  # of the first nothing is known
         ([(1, LATER), (2, NoLeader("g0", "none"))], UnknownOutcome),
-        ([(1, ROOM)], NoRoom),
+        ([(1, ROOM)], InsufficientCapacity),
         ([(2, ROOM)], UnknownOutcome),  # the first may be taken yet
-        ([(2, ROOM), (1, ROOM)], NoRoom),
-        ([(2, Applied("v0"))], str),  # taken is taken
-        ([(1, LATER), (2, Applied("v0"))], str),  # it is made again
+        ([(2, ROOM), (1, ROOM)], InsufficientCapacity),
+        ([(2, ApplyResult("v0"))], str),  # taken is taken
+        ([(1, LATER), (2, ApplyResult("v0"))], str),  # it is made again
     ],
 )
 def test_a_call_is_told_as_refused_only_where_no_try_of_it_can_be_taken(
@@ -676,9 +727,13 @@
         got += told(effects)
         for number, answer in list(waiting.items()):
             if len(tries) >= number and (number == 1 or len(tries) >= 2) and next(iter(waiting)) == number:
-                body = [answer, None, ""] if isinstance(answer, Applied) else [None, answer, ""]
+                body = [answer, None, ""] if isinstance(answer, ApplyResult) else [None, answer, ""]
                 effects = made.handle(
-                    now, 1e12, Received("b/1", Reply(tries[number - 1].token, msgspec.msgpack.encode(body)))
+                    now,
+                    1e12,
+                    MessageReceived(
+                        "b/1", ForwardedReply(tries[number - 1].token, msgspec.msgpack.encode(body))
+                    ),
                 )
                 tries += forwards(effects)
                 got += told(effects)
@@ -687,12 +742,15 @@
             effects = made.handle(
                 now,
                 1e12,
-                Received(
-                    "b/1", Reply(tries[-1].token, msgspec.msgpack.encode([None, NoLeader("g0", "none"), ""]))
+                MessageReceived(
+                    "b/1",
+                    ForwardedReply(
+                        tries[-1].token, msgspec.msgpack.encode([None, NoLeader("g0", "none"), ""])
+                    ),
                 ),
             )
             got += told(effects)
-    result = got[0].error or got[0].value if isinstance(got[0], Applied) else got[0]
+    result = got[0].error or got[0].value if isinstance(got[0], ApplyResult) else got[0]
     assert len(got) == 1 and type(result) is end and now <= 2100.0
 
 
@@ -703,20 +761,20 @@
     before, made = node(), node(draw=2)
     old = forwards(before.handle(1.0, 1e12, PUT))[0]
     assert forwards(made.handle(1.0, 1e12, PUT))
-    body = msgspec.msgpack.encode([Applied("old"), None, ""])
-    assert told(made.handle(2.0, 1e12, Received("b/1", Reply(old.token, body)))) == []
-    assert [type(one) for one in told(made.handle(3.0, 1e12, PUT))] == [Crowded]
+    body = msgspec.msgpack.encode([ApplyResult("old"), None, ""])
+    assert told(made.handle(2.0, 1e12, MessageReceived("b/1", ForwardedReply(old.token, body)))) == []
+    assert [type(one) for one in told(made.handle(3.0, 1e12, PUT))] == [Overloaded]
 
 
 def test_the_fleet_goes_by_the_middle_of_a_majoritys_clocks() -> None:
     made = node("abcde")
     assert not made._timed
     for who, wall in (("b/1", 1e12 + 3_600_000.0), ("c/1", 1e12 + 5.0), ("d/1", 1e12 + 9.0)):
-        made.handle(1.0, 1e12, Received(who, Ping(1, "a/1", (), wall)))
+        made.handle(1.0, 1e12, MessageReceived(who, Ping(1, "a/1", (), wall)))
     assert made._timed and 0.0 <= made.ahead <= 9.0
 
 
-def alone_and_leading(strict: bool) -> Node:
+def alone_and_leading(strict: bool) -> ClusterNode:
     """A fleet of one, whose store takes no time."""
     made, now = node("a", strict), 0.0
     while not all(replica.leading for replica in made.replicas.values()):
@@ -726,12 +784,12 @@
     return made
 
 
-def carry(made: Node, now: float, effects: list[Any]) -> list[Any]:
+def carry(made: ClusterNode, now: float, effects: list[Any]) -> list[Any]:
     """Answer its stores until nothing more comes of it; gives what was told."""
     results = told(effects)
     for one in effects:
-        if isinstance(one, Store):
-            results += carry(made, now, made.handle(now, 1e12 + now, Stored(one.group, one.seq)))
+        if isinstance(one, PersistRecords):
+            results += carry(made, now, made.handle(now, 1e12 + now, RecordsPersisted(one.group, one.seq)))
     return results
 
 
@@ -741,11 +799,11 @@
     made = alone_and_leading(False)
     at = group_of("p:n", 2)
 
-    def breaks(self: Any, at_ms: float, command: Any) -> Applied:
+    def breaks(self: Any, at_ms: float, command: Any) -> ApplyResult:
         made.rules.check(Rule.ID_ONCE, False, lambda: "planted")
-        return Applied("kept")
+        return ApplyResult("kept")
 
-    monkeypatch.setattr(key_value.Promises, "apply", breaks)
+    monkeypatch.setattr(key_value.KeyValueStore, "apply", breaks)
     carry(made, 5001.0, made.handle(5001.0, 1e12, PUT))
     assert [group for group, replica in made.replicas.items() if replica.stopped is not None] == [at]
 
@@ -758,7 +816,7 @@
 
 def test_a_store_that_broke_ends_every_copys_promises() -> None:
     made = alone_and_leading(True)
-    made.handle(5001.0, 1e12, StoreBroke(StoreFailed("a", "full")))
+    made.handle(5001.0, 1e12, StorageFailure(StorageFailed("a", "full")))
     assert all(replica.stopped is not None for replica in made.replicas.values())
 
 
@@ -767,12 +825,12 @@
     stub: Any = SimpleNamespace(
         commit=1,
         config_index=2,
-        config=Config(("a/1",)),
+        config=GroupConfiguration(("a/1",)),
         behind=lambda: (),
         lead_since=-1e9,
         lagging=lambda: ("b/1",),
     )
-    made._places.groups["g0"] = Held(("a/1", "b/1"))
+    made._places.groups["g0"] = GroupPlacement(("a/1", "b/1"))
     assert made._members(1.0, 1e12, "g0", stub) == []
     assert made._late(1.0, "g0", stub) == () and made._late(LATE_MS + 2.0, "g0", stub) == ("b/1",)
 
@@ -804,7 +862,7 @@
     world.network.cut(
         [(one, other) for name in rest for one, other in ((leader.name, name), (name, leader.name))]
     )
-    world.call(leader.name, key_value.PromiseRead(id="r", name="n"), got.append)
+    world.call(leader.name, key_value.ReadValue(id="r", name="n"), got.append)
     world.go(500.0)
     assert got == []
 
@@ -814,7 +872,7 @@
     world = Yard()
     leader = world.leads(FLEET)
     if how == "leave":
-        world._give(leader.name, leader.life, [Leave("l")])
+        world._give(leader.name, leader.life, [LeaveCluster("l")])
     else:
         assert leader.node is not None
         leader.node.lead_nothing = True
@@ -866,14 +924,16 @@
     disk.close()
     back = opened(tmp_path, word="2")
     assert back.incarnation == "2" and not back.saved
-    assert [type(one) for one in back.faults] == [StoreDamaged]
+    assert [type(one) for one in back.faults] == [StorageDamaged]
     back.close()
 
 
 def test_each_transaction_is_synced(tmp_path: Path) -> None:
     for fsync, level in ((True, 2), (False, 0)):
         made = open_store(tmp_path / str(fsync), "f", "a", fsync)
-        assert isinstance(made, Disk) and made._db.execute("PRAGMA synchronous").fetchone() == (level,)
+        assert isinstance(made, ClusterStorage) and made._db.execute("PRAGMA synchronous").fetchone() == (
+            level,
+        )
         made.close()
 
 
@@ -924,52 +984,56 @@
 # Rolls, as the log holds them
 # ------------------------------------------------------------------------------------------
 
-WELL = Facts(0, 0, 0, -1.0, 0.0)
+WELL = ClusterConditions(0, 0, 0, -1.0, 0.0)
 
 
-def rolling(**ask: Any) -> Rolls:
+def rolling(**ask: Any) -> RollingRestarts:
     """A roll over three gateways, planned; it has changed twice."""
-    made = Rolls(Invariants())
+    made = RollingRestarts(Invariants())
     given = {"id": "1", "roll": "r", "warm_ms": 50.0, **ask}
     for command in (
-        RollAsk(**given),
-        RollTurn(id="2", roll="r", stamp=0, turn="SEEN"),
-        RollTurn(id="3", roll="r", stamp=1, turn="PLANNED", order=("a", "b", "c"), members=3),
+        StartRollingRestart(**given),
+        RecordRestartEvent(id="2", roll="r", stamp=0, turn="SEEN"),
+        RecordRestartEvent(id="3", roll="r", stamp=1, turn="PLANNED", order=("a", "b", "c"), members=3),
     ):
         assert made.apply(0.0, command).error is None
     return made
 
 
-def wave(made: Rolls, *names: str, stamp: int = -1, facts: Facts = WELL) -> Applied:
+def wave(made: RollingRestarts, *names: str, stamp: int = -1, facts: ClusterConditions = WELL) -> ApplyResult:
     at = made.rolls["r"].changes if stamp < 0 else stamp
-    return made.apply(1.0, RollWave(id="w", roll="r", stamp=at, gateways=names, facts=facts))
+    return made.apply(1.0, StartWave(id="w", roll="r", stamp=at, gateways=names, facts=facts))
 
 
-def step(made: Rolls, name: str, what: str, round_: int = -1, facts: Facts | None = WELL) -> Applied:
+def step(
+    made: RollingRestarts, name: str, what: str, round_: int = -1, facts: ClusterConditions | None = WELL
+) -> ApplyResult:
     at = made.rolls["r"].gateways[name].round if round_ < 0 else round_
     return made.apply(
         2.0,
-        RollStep(
+        RecordGatewayEvent(
             id="s", roll="r", gateway=name, round=at, step=what, facts=facts, stamp=made.rolls["r"].changes
         ),
     )
 
 
-def report(made: Rolls, name: str, what: str, process: str = "p1", round_: int = -1) -> Applied:
+def report(made: RollingRestarts, name: str, what: str, process: str = "p1", round_: int = -1) -> ApplyResult:
     at = made.rolls["r"].gateways[name].round if round_ < 0 else round_
-    return made.apply(3.0, RollReport(id="t", roll="r", gateway=name, round=at, what=what, process=process))
+    return made.apply(
+        3.0, ReportGateway(id="t", roll="r", gateway=name, round=at, what=what, process=process)
+    )
 
 
-def stands(made: Rolls) -> str:
+def stands(made: RollingRestarts) -> str:
     return " ".join(one.stand.value for one in made.rolls["r"].gateways.values())
 
 
 def test_a_roll_takes_each_step_once_and_from_where_it_stands() -> None:
     made = rolling()
     assert wave(made, "a", stamp=1).error is not None  # seen before it was planned
-    turned = made.apply(1.0, RollTurn(id="4", roll="r", stamp=1, turn="BLOCKED", why="old"))
+    turned = made.apply(1.0, RecordRestartEvent(id="4", roll="r", stamp=1, turn="BLOCKED", why="old"))
     assert turned.error is not None and made.rolls["r"].state is RollState.RUNNING
-    assert made.apply(1.0, RollAsk(id="5", roll="other")).error is not None  # one roll at a time
+    assert made.apply(1.0, StartRollingRestart(id="5", roll="other")).error is not None  # one roll at a time
     assert wave(made, "a", "b").error is not None  # more than at once
     assert wave(made, "a").error is None and wave(made, "b").error is not None  # beside the one before
     assert step(made, "a", "ROOMY").error is not None  # it has not said that it is ready
@@ -985,17 +1049,17 @@
     assert stands(made) == "emptying waiting waiting"  # the same process is no later one
     report(made, "a", "empty")
     for wrong in (
-        Facts(1, 0, 0, -1.0, 0.0),
-        Facts(0, -1, 0, -1.0, 0.0),
-        Facts(0, 0, 1, -1.0, 0.0),
-        Facts(0, 0, 0, 1.0, 2.0),
+        ClusterConditions(1, 0, 0, -1.0, 0.0),
+        ClusterConditions(0, -1, 0, -1.0, 0.0),
+        ClusterConditions(0, 0, 1, -1.0, 0.0),
+        ClusterConditions(0, 0, 0, 1.0, 2.0),
         None,
     ):
-        with pytest.raises(Broken):
+        with pytest.raises(InvariantViolation):
             step(made, "a", "ACT", facts=wrong)
     assert step(made, "a", "HOLD").error is not None and step(made, "a", "LOST").error is not None
     assert step(made, "a", "ACT").error is None and stands(made) == "acting waiting waiting"
-    again = Rolls(Invariants())
+    again = RollingRestarts(Invariants())
     again.load(msgspec.msgpack.decode(msgspec.msgpack.encode(made.dump())))
     report(again, "a", "back")
     assert stands(again) == "acting waiting waiting"  # and it is known which process that was
@@ -1004,11 +1068,11 @@
     assert step(again, "a", "LOST").error is not None  # it is waited for
     report(again, "a", "whole", "p2")
     assert stands(again) == "warming waiting waiting" and again.rolls["r"].gateways["a"].drains == 1
-    assert again.apply(4.0, RollCancel(id="6", roll="r")).error is None
+    assert again.apply(4.0, CancelRollingRestart(id="6", roll="r")).error is None
     assert stands(again) == "warming undone undone"
 
 
-def counted(wave: tuple[str, ...] = ("a",), **more: Any) -> Facts:
+def counted(wave: tuple[str, ...] = ("a",), **more: Any) -> ClusterConditions:
     made = rolling(at_once=3)
     given: dict[str, Any] = {
         "alive": frozenset({"a/1", "b/1", "c/1", "d/1"}),
@@ -1018,22 +1082,22 @@
         "groups": {"g0": ("b/1", "c/1", "d/1")},
         **more,
     }
-    view = View(now=0.0, wall=0.0, me="d/1", lead_since=0.0, timings=Timings(), dead_for={}, **given)
+    view = LeaderView(now=0.0, wall=0.0, me="d/1", lead_since=0.0, timings=Timings(), dead_for={}, **given)
     return made.count(view, made.rolls["r"], wave)
 
 
 def test_what_a_wave_leaves_is_counted() -> None:
-    assert counted(("b",)) == Facts(0, 0, 0, -1.0, 0.0)
+    assert counted(("b",)) == ClusterConditions(0, 0, 0, -1.0, 0.0)
     assert counted(("a",)).halls == 1  # the only one of its hall
     assert counted(("b", "c")).spare == -1
     assert counted(("b",), alive=frozenset({"a/1", "b/1", "d/1"})).missing == 1
     assert counted(("b",), behind={"g0": ("c/1",)}).missing == 1
-    assert counted(("b",), load={"capacity": 100.0, "demand": 20.0, "promised": 5.0}) == Facts(
+    assert counted(("b",), load={"capacity": 100.0, "demand": 20.0, "promised": 5.0}) == ClusterConditions(
         0, 0, 0, 75.0, 25.0
     )
 
 
-def looked(made: Rolls, wall: float, **more: Any) -> list[Any]:
+def looked(made: RollingRestarts, wall: float, **more: Any) -> list[Any]:
     given: dict[str, Any] = {
         "alive": frozenset({"a/1", "b/1", "c/1", "d/1"}),
         "behind": {},
@@ -1042,7 +1106,9 @@
         "dead_for": {},
         **more,
     }
-    return made.work(View(now=wall, wall=wall, me="d/1", lead_since=0.0, timings=Timings(), load={}, **given))
+    return made.work(
+        LeaderView(now=wall, wall=wall, me="d/1", lead_since=0.0, timings=Timings(), load={}, **given)
+    )
 
 
 def test_a_leader_takes_no_step_before_its_time() -> None:
@@ -1075,13 +1141,13 @@
 
 
 def test_a_gateway_goes_by_a_fresh_reading_and_by_its_own_process() -> None:
-    def read(process: str, at: float) -> Rolled:
-        rolled = Rolled("a", process)
+    def read(process: str, at: float) -> RollingRestartAgent:
+        rolled = RollingRestartAgent("a", process)
         command = rolled.poll(at, 0.0)[0]
         rolled.answered(
             at + 10.0,
             command,
-            Applied(
+            ApplyResult(
                 {
                     "roll": "r",
                     "stand": "EMPTYING",
@@ -1096,7 +1162,9 @@
         return rolled
 
     assert read("p1", 0.0).duties(FRESH_MS + 1.0) == []  # what it knows may be over
-    assert read("p1", 0.0).duties(FRESH_MS - 1.0) == [Duty.PAUSE] and read("p2", 0.0).duties(1.0) == []
+    assert (
+        read("p1", 0.0).duties(FRESH_MS - 1.0) == [DesiredState.PAUSE] and read("p2", 0.0).duties(1.0) == []
+    )
     assert read("p1", 0.0).lead_nothing and not read("p2", 0.0).lead_nothing
 
 
@@ -1104,21 +1172,23 @@
 # -----------------------------------------------------------------------------------------------------------
 
 
-def limited(most: int = 10) -> Connections:
-    made = Connections(Invariants(), Timings())
-    assert made.apply(0.0, Limit(id="l", server="s", most=most, idle_ms=5000.0)).error is None
+def limited(most: int = 10) -> ConnectionLimits:
+    made = ConnectionLimits(Invariants(), Timings())
+    assert made.apply(0.0, SetConnectionLimit(id="l", server="s", most=most, idle_ms=5000.0)).error is None
     return made
 
 
-def keeper(begun: float = 0.0, number: int = 1, alone: bool = True) -> Keeper:
-    made = Keeper(f"a/1#boot.{number}", Timings(), Invariants(), begun, alone)
+def keeper(begun: float = 0.0, number: int = 1, alone: bool = True) -> ConnectionLeaseHolder:
+    made = ConnectionLeaseHolder(f"a/1#boot.{number}", Timings(), Invariants(), begun, alone)
     made.want("s", 4)
     return made
 
 
-def leased(made: Keeper, part: Connections, asked: float = 0.0, answered: float = 0.0) -> ConnLeases:
+def leased(
+    made: ConnectionLeaseHolder, part: ConnectionLimits, asked: float = 0.0, answered: float = 0.0
+) -> RequestConnectionLeases:
     command = made.poll(asked, 0.0)[0]
-    assert isinstance(command, ConnLeases)
+    assert isinstance(command, RequestConnectionLeases)
     made.answered(answered, command, part.apply(0.0, command))
     return command
 
@@ -1184,7 +1254,7 @@
     for _ in range(2):
         made.opened(1.0, "s")
     command = made.poll(4000.0, 0.0)[0]
-    made.answered(4000.0, command, Applied({"parts": [row], "old": []}))
+    made.answered(4000.0, command, ApplyResult({"parts": [row], "old": []}))
     assert made.may_open(4001.0, "s") is may and sum(count for _, count in made.must_close(4001.0)) == over
 
 
@@ -1199,16 +1269,16 @@
         made = keeper(0.0, 2, sole)
         leased(made, again(part), 1.0, 2.0)
         made.want("s", 0)
-        assert any(isinstance(one, ConnEnd) for one in made.poll(at, 0.0)) is ends
-    elsewhere = ConnEnd(
+        assert any(isinstance(one, ReleaseConnectionLeases) for one in made.poll(at, 0.0)) is ends
+    elsewhere = ReleaseConnectionLeases(
         id="e", holder="a/1#boot.1", bucket=bucket("s"), ends=(("s", 1),), proof="reset", by="a/1#reboot.2"
     )
     assert part.apply(0.0, elsewhere).error is not None and part.servers["s"].parts.granted() > 0.0
 
 
-def again(part: Connections) -> Connections:
+def again(part: ConnectionLimits) -> ConnectionLimits:
     """From its snapshot."""
-    made = Connections(Invariants(), Timings())
+    made = ConnectionLimits(Invariants(), Timings())
     made.load(msgspec.msgpack.decode(msgspec.msgpack.encode(part.dump())))
     assert made.dump() == part.dump()
     return made
@@ -1218,13 +1288,13 @@
     part = limited()
     leased(keeper(), part)
     granted = part.servers["s"].parts.granted()
-    assert part.apply(0.0, Limit(id="m", server="s", most=1, idle_ms=5000.0)).error is None
+    assert part.apply(0.0, SetConnectionLimit(id="m", server="s", most=1, idle_ms=5000.0)).error is None
     assert part.servers["s"].parts.granted() == granted > 1.0
-    other = Keeper("b/1#x.1", Timings(), Invariants(), 0.0)
+    other = ConnectionLeaseHolder("b/1#x.1", Timings(), Invariants(), 0.0)
     other.want("s", 4)
     leased(other, part)
     assert part.servers["s"].parts.granted() == granted
-    part.apply(0.0, Unlimit(id="u", server="s"))
+    part.apply(0.0, RemoveConnectionLimit(id="u", server="s"))
     assert part.servers["s"].parts.granted() == granted  # it is known until all of it has come back
 
 
@@ -1235,13 +1305,13 @@
 SPAN = (20_000.0, 60_000.0)
 
 
-def admitted(units: float = 100.0) -> Contracts:
+def admitted(units: float = 100.0) -> ContractRegistry:
     """60 units a second over SPAN, as version 1."""
-    made = Contracts(Timings(), Invariants())
-    asked = msgspec.convert({**TERMS, "rate": 60.0, "windows": [Window(*SPAN)]}, Terms)
+    made = ContractRegistry(Timings(), Invariants())
+    asked = msgspec.convert({**TERMS, "rate": 60.0, "windows": [Window(*SPAN)]}, ContractTerms)
     for command in (
-        Capacity(id="1", units=units, reserve=0.0, floor=0.0),
-        contract.Propose(id="2", contract="c", terms=asked),
+        SetCapacity(id="1", units=units, reserve=0.0, floor=0.0),
+        contract.ProposeContract(id="2", contract="c", terms=asked),
     ):
         assert made.apply(0.0, command).error is None
     return made
@@ -1252,42 +1322,44 @@
     held = made.held["c"]
     changed = msgspec.structs.replace(held.newest.terms, rate=30.0)
     assert (
-        made.apply(1.0, contract.Change(id="3", contract="c", terms=changed, holds_from_ms=30_000.0)).error
+        made.apply(
+            1.0, contract.ChangeContract(id="3", contract="c", terms=changed, holds_from_ms=30_000.0)
+        ).error
         is None
     )
-    made.apply(2.0, contract.Told(id="4", contract="c", version=1))
+    made.apply(2.0, contract.VersionDrained(id="4", contract="c", version=1))
     assert (held.told, [one.number for one in held.versions]) == (1, [1, 2])
     assert made.promised(0.0, 1e6) == 60.0  # the dearer of the two counts
-    made.apply(3.0, contract.Told(id="5", contract="c", version=2))
+    made.apply(3.0, contract.VersionDrained(id="5", contract="c", version=2))
     assert (held.told, [one.number for one in held.versions]) == (2, [2])
 
 
 def test_a_contract_is_armed_when_its_group_holds_it() -> None:
     made = admitted()
-    made.apply(15_000.0, contract.Pass(id="p"))
+    made.apply(15_000.0, contract.AdvanceContracts(id="p"))
     assert made.held["c"].state.value == "admitted"
-    made.apply(15_001.0, contract.Told(id="3", contract="c", version=1))
+    made.apply(15_001.0, contract.VersionDrained(id="3", contract="c", version=1))
     assert made.held["c"].state.value == "armed"
 
 
 def test_what_was_promised_before_capacity_fell_stands_behind_a_snapshot() -> None:
     made = admitted()
-    assert made.apply(1.0, Capacity(id="3", units=30.0, reserve=0.0, floor=5.0)).error is None
-    other = Contracts(Timings(), Invariants())
+    assert made.apply(1.0, SetCapacity(id="3", units=30.0, reserve=0.0, floor=5.0)).error is None
+    other = ContractRegistry(Timings(), Invariants())
     other.load(msgspec.msgpack.decode(msgspec.msgpack.encode(made.dump())))
     assert (
-        other.apply(2.0, contract.Told(id="4", contract="c", version=1)).error is None
+        other.apply(2.0, contract.VersionDrained(id="4", contract="c", version=1)).error is None
     )  # and no rule is broken
     assert other.available() == made.available() == 25.0
 
 
-def opened_floors(*versions: tuple[int, float, float], at_ms: float = 0.0) -> Floors:
+def opened_floors(*versions: tuple[int, float, float], at_ms: float = 0.0) -> GuaranteedRates:
     """Versions by number, rate, and the moment from which they hold."""
-    made = Floors(Timings(), Invariants())
+    made = GuaranteedRates(Timings(), Invariants())
     for number, rate, holds_from in versions:
         made.apply(
             at_ms,
-            contract.Open(
+            contract.OpenContract(
                 id=f"o{number}",
                 tenant="t",
                 contract="c",
@@ -1301,10 +1373,12 @@
     return made
 
 
-def lease(made: Floors, at_ms: float, order: int, number: int, wish: float, keep: float = 0.0) -> Any:
+def lease(
+    made: GuaranteedRates, at_ms: float, order: int, number: int, wish: float, keep: float = 0.0
+) -> Any:
     result = made.apply(
         at_ms,
-        Lease(
+        RequestLease(
             id=f"l{order}",
             tenant="t",
             contract="c",
@@ -1321,9 +1395,9 @@
     return result.value
 
 
-def words(made: Floors, now: float, wall: float) -> list[str]:
-    view = View(now, wall, "a/1", 0.0, Timings(), frozenset(), {}, {}, {}, {}, {})
-    return [type(one).__name__ for one in made.work(view)]
+def words(made: GuaranteedRates, now: float, wall: float) -> list[str]:
+    view = LeaderView(now, wall, "a/1", 0.0, Timings(), frozenset(), {}, {}, {}, {}, {})
+    return [one.command_name() for one in made.work(view)]
 
 
 def test_an_older_version_that_comes_late_changes_nothing_and_none_is_forgotten_before_its_window() -> None:
@@ -1334,7 +1408,7 @@
     assert (made.held["c"].version, made.held["c"].rate) == (2, 60.0)
     made.apply(
         1.0,
-        contract.Open(
+        contract.OpenContract(
             id="x", tenant="t", contract="d", version=4, rate=1.0, burst=0.0, times=(SPAN,), holds_from_ms=0.0
         ),
     )
@@ -1363,7 +1437,7 @@
     granted = lease(made, 20_000.0, 1, 0, 60.0)
     made.apply(
         20_001.0,
-        contract.Open(
+        contract.OpenContract(
             id="o2",
             tenant="t",
             contract="c",
@@ -1376,8 +1450,8 @@
     )
     renewed = lease(made, 20_002.0, 2, granted["number"], 60.0, 60.0)
     assert (renewed["until_ms"], renewed["then"]) == (25_000.0, min(rate / 60.0, 1.0))  # it shrinks by itself
-    made.apply(25_000.0, contract.TurnFloor(id="turn", tenant="t", contract="c"))
-    other = Floors(Timings(), Invariants())
+    made.apply(25_000.0, contract.SwitchVersion(id="turn", tenant="t", contract="c"))
+    other = GuaranteedRates(Timings(), Invariants())
     other.load(msgspec.msgpack.decode(msgspec.msgpack.encode(made.dump())))
     for one in (made, other):
         assert one.held["c"].version == 2 and "Told" not in words(one, 10.0, 25_000.0)
@@ -1389,9 +1463,9 @@
 
 
 def test_what_a_lost_holder_had_is_gone() -> None:
-    whole, rules = Divided(10.0, 8.0), Invariants()
+    whole, rules = LeasePool(10.0, 8.0), Invariants()
     granted = whole.ask("a", 0, 0.0, 10.0, 0.0, rules, 0.0, 8.0)
-    assert not isinstance(granted, BadCall | LeaseOver) and granted.room > 0.0
+    assert not isinstance(granted, InvalidCall | LeaseExpired) and granted.room > 0.0
     free = whole.free
     whole.end("a", granted.number)
     assert whole.free == free
@@ -1405,28 +1479,37 @@
     terms = made.held["c"].newest.terms
     first, second = (msgspec.structs.replace(terms, rate=rate) for rate in (30.0, 20.0))
     assert (
-        made.apply(1.0, contract.Change(id="3", contract="c", terms=first, holds_from_ms=30_000.0)).error
+        made.apply(
+            1.0, contract.ChangeContract(id="3", contract="c", terms=first, holds_from_ms=30_000.0)
+        ).error
         is None
     )
-    again = made.apply(2.0, contract.Change(id="4", contract="c", terms=second, holds_from_ms=30_000.0))
+    again = made.apply(
+        2.0, contract.ChangeContract(id="4", contract="c", terms=second, holds_from_ms=30_000.0)
+    )
     assert isinstance(again.error, WrongState)
     more = made.apply(
-        3.0, contract.Propose(id="5", contract="d", terms=msgspec.structs.replace(terms, rate=1.0))
+        3.0, contract.ProposeContract(id="5", contract="d", terms=msgspec.structs.replace(terms, rate=1.0))
     )
-    assert isinstance(more.error, Crowded)
+    assert isinstance(more.error, Overloaded)
 
 
 class Gate:
     """One gateway's floor with both groups beside it; customer 1 asks."""
 
     def __init__(self, hall: str = "", of: str = "") -> None:
-        self.floor, self.floors = Floor("a/1", "p", Timings(), hall), opened_floors((1, 60.0, 0.0))
-        self.contracts = Contracts(Timings(), Invariants())
-        asked = msgspec.convert({**TERMS, "rate": 60.0, "hall": of, "windows": [Window(*SPAN)]}, Terms)
+        self.floor, self.floors = (
+            ReservationClient("a/1", "p", Timings(), hall),
+            opened_floors((1, 60.0, 0.0)),
+        )
+        self.contracts = ContractRegistry(Timings(), Invariants())
+        asked = msgspec.convert(
+            {**TERMS, "rate": 60.0, "hall": of, "windows": [Window(*SPAN)]}, ContractTerms
+        )
         for command in (
-            Capacity(id="1", units=100.0, reserve=0.0, floor=0.0),
-            contract.Propose(id="2", contract="c", terms=asked),
-            contract.Told(id="3", contract="c", version=1),
+            SetCapacity(id="1", units=100.0, reserve=0.0, floor=0.0),
+            contract.ProposeContract(id="2", contract="c", terms=asked),
+            contract.VersionDrained(id="3", contract="c", version=1),
         ):
             assert self.contracts.apply(0.0, command).error is None
 
@@ -1490,14 +1573,14 @@
     first = next(
         one
         for at in range(100)
-        for one in made.turn(begin + 500.0 + 10.0 * at, Lease)
-        if isinstance(one, Lease)
+        for one in made.turn(begin + 500.0 + 10.0 * at, RequestLease)
+        if isinstance(one, RequestLease)
     )
     repeats = [
         one
         for at in range(20)
-        for one in made.turn(begin + 700.0 + 50.0 * at, Lease)
-        if isinstance(one, Lease)
+        for one in made.turn(begin + 700.0 + 50.0 * at, RequestLease)
+        if isinstance(one, RequestLease)
     ]
     assert repeats and all(one == first for one in repeats)
     made = Gate()
@@ -1506,9 +1589,9 @@
         one
         for at in range(20)
         for one in made.floor.poll(begin + 510.0 + 10.0 * at, begin + 510.0 + 10.0 * at)
-        if isinstance(one, Lease)
+        if isinstance(one, RequestLease)
     )
-    made.floor.answered(begin + 720.0, last, Applied(error=LeaseOver("a/1", "it is over")))
+    made.floor.answered(begin + 720.0, last, ApplyResult(error=LeaseExpired("a/1", "it is over")))
     assert made.floor.held(begin + 720.0) == 0.0 and made.floor.take(begin + 720.0, 1, 0.5) is None
 
 
@@ -1532,7 +1615,7 @@
         one
         for at in range(400)
         for one in made.turn(begin + 300.0 + 10.0 * at)
-        if isinstance(one, contract.Short)
+        if isinstance(one, contract.ReportShortfall)
     ]
     assert [(one.cause, one.units) for one in told] == [("load", 0.5)]
 
@@ -1550,13 +1633,13 @@
         "terms": {**TERMS, "customers": [1 << 64], "windows": [{"from_ms": 1, "to_ms": 2}]},
     }
     read = read_call(json.dumps(given).encode())
-    assert isinstance(read, BadCall) or (isinstance(read, Command) and encode(0.0, read))
+    assert isinstance(read, InvalidCall) or (isinstance(read, Command) and encode(0.0, read))
 
 
 def test_a_window_that_recurs_without_end_is_a_bad_call() -> None:
     window = {"from_ms": 0, "to_ms": 1e-300, "every_ms": 1e-300, "until_ms": 1e10}
     given = {"do": "propose", "id": "1", "contract": "c", "terms": {**TERMS, "windows": [window]}}
-    assert isinstance(read_call(msgspec.json.encode(given)), BadCall)
+    assert isinstance(read_call(msgspec.json.encode(given)), InvalidCall)
 
 
 def test_a_call_that_is_told_as_refused_is_not_taken_later() -> None:
@@ -1570,45 +1653,46 @@
     )
     asker = next(one for one in world.machines.values() if one is not leader)
     begin = leader.clock.wall(leader.clock.now(world.calendar.now)) + 60_000.0
-    terms = msgspec.convert({**TERMS, "windows": [Window(begin, begin + 1000.0)]}, Terms)
+    terms = msgspec.convert({**TERMS, "windows": [Window(begin, begin + 1000.0)]}, ContractTerms)
     got: list[Any] = []
     world.network.delays[leader.name, asker.name] = 700.0
-    world.call(asker.name, contract.Propose(id="1", contract="c", terms=terms), got.append)
+    world.call(asker.name, contract.ProposeContract(id="1", contract="c", terms=terms), got.append)
     world.calendar.run(world.calendar.now + 200.0)
-    world.call(leader.name, Capacity(id="2", units=1000.0, reserve=0.0, floor=0.0), lambda result: None)
+    world.call(leader.name, SetCapacity(id="2", units=1000.0, reserve=0.0, floor=0.0), lambda result: None)
     world.calendar.run(world.calendar.now + 3000.0)
     assert leader.node is not None
     taken = "c" in leader.node.states[FLEET].parts["contracts"].held
-    refused = isinstance(got[0], Applied) and isinstance(got[0].error, NoRoom)
+    refused = isinstance(got[0], ApplyResult) and isinstance(got[0].error, InsufficientCapacity)
     assert not (taken and refused), f"{got[0]}, and the contract is held"
 
 
-def wide_promise(number: int, id_: str = "") -> key_value.Promise:
+def wide_promise(number: int, id_: str = "") -> key_value.PutValue:
     wide = "\U0001f600"
-    return key_value.Promise(
+    return key_value.PutValue(
         id=id_ or f"{number:0128}", name=wide * 120 + f"{number:08}", value=wide * key_value.MOST_VALUE
     )
 
 
-def wide_batch(number: int) -> unreported_usage.Owe:
-    return unreported_usage.Owe(
+def wide_batch(number: int) -> unreported_usage.RecordUsage:
+    return unreported_usage.RecordUsage(
         id=f"{number:0128}",
         tenant="t",
         by="a/00000000",
         lines=tuple(
-            unreported_usage.Line("\U0001f600" * 60 + f"{at:04}", 1.5, 60_000.0)
+            unreported_usage.UsageLine("\U0001f600" * 60 + f"{at:04}", 1.5, 60_000.0)
             for at in range(unreported_usage.MOST_LINES)
         ),
     )
 
 
-def narrow_batch(number: int) -> unreported_usage.Owe:
-    return unreported_usage.Owe(
+def narrow_batch(number: int) -> unreported_usage.RecordUsage:
+    return unreported_usage.RecordUsage(
         id=f"{number:0128}",
         tenant="t",
         by="a/00000000",
         lines=tuple(
-            unreported_usage.Line(f"{at:064}", 1.5, 60_000.0) for at in range(unreported_usage.MOST_LINES)
+            unreported_usage.UsageLine(f"{at:064}", 1.5, 60_000.0)
+            for at in range(unreported_usage.MOST_LINES)
         ),
     )
 
@@ -1622,7 +1706,7 @@
         for number in range(most + 1):
             index += 1
             got = made.apply(0.0, index, encode(0.0, make(number)))
-            if refused := refused + isinstance(got.error, Crowded):
+            if refused := refused + isinstance(got.error, Overloaded):
                 break
         assert refused
     for number in range(2200):
@@ -1640,7 +1724,7 @@
 
     def call(number: int) -> bytes:
         return encode(
-            0.0, key_value.Promise(id=f"p{number}", name="n", value="v" * (300 + 97 * number % 400))
+            0.0, key_value.PutValue(id=f"p{number}", name="n", value="v" * (300 + 97 * number % 400))
         )
 
     for number in range(40):
@@ -1666,49 +1750,49 @@
     monkeypatch.setattr(fleet_state, "MOST_IDS", 1)
     made = state()
     made.apply(0.0, 1, encode(0.0, narrow_batch(1)))
-    claim = unreported_usage.Claim(id="c", tenant="t", batch=narrow_batch(1).id, by="b/1")
+    claim = unreported_usage.ClaimUsage(id="c", tenant="t", batch=narrow_batch(1).id, by="b/1")
     made.apply(0.0, 2, encode(0.0, claim))
     assert made.apply(0.0, 3, encode(0.0, narrow_batch(1))).value is True
-    other = unreported_usage.Claim(id="d", tenant="t", batch=claim.batch, by="c/1")
+    other = unreported_usage.ClaimUsage(id="d", tenant="t", batch=claim.batch, by="c/1")
     assert isinstance(made.apply(0.0, 4, encode(0.0, other)).error, WrongState)
 
 
-def beats(replica: Replica, other: Replica, first: float, count: int) -> tuple[list[Effect], int]:
+def beats(replica: RaftNode, other: RaftNode, first: float, count: int) -> tuple[list[Effect], int]:
     """So many beats of a leader to c/1, and all that the two say to each other at once, while b/1 is
     heard; gives what the leader wants done, and how many appends that came to."""
     out, appends = list[Effect](), 0
     for beat in range(count):
         now = first + 100.0 * beat
-        replica.handle(now, Received("b/1", Appended("g", 5, True, 3, 1)))
+        replica.handle(now, MessageReceived("b/1", AppendEntriesReply("g", 5, True, 3, 1)))
         made = replica.handle(now, Tick())
         while made:
             out += made
-            to_c = [one.message for one in made if isinstance(one, Send) and one.to == "c/1"]
+            to_c = [one.message for one in made if isinstance(one, SendMessage) and one.to == "c/1"]
             appends, made = appends + len(to_c), []
             for message in to_c:
-                told = other.handle(now, Received("a/1", message))
+                told = other.handle(now, MessageReceived("a/1", message))
                 for one in told + stored(other, now, told):
-                    if isinstance(one, Send) and one.to == "a/1":
-                        made += replica.handle(now, Received("c/1", one.message))
+                    if isinstance(one, SendMessage) and one.to == "a/1":
+                        made += replica.handle(now, MessageReceived("c/1", one.message))
     return out, appends
 
 
-def follower(*terms: int) -> Replica:
-    saved = Saved(
+def follower(*terms: int) -> RaftNode:
+    saved = PersistedGroup(
         5, "", Snapshot(0, 0, THREE, EMPTY), tuple(entry(at, one) for at, one in enumerate(terms, 1))
     )
-    return Replica("g", "c/1", saved, Kept(World(0, 0)), TIMINGS, Random(1), Invariants(), 0.0)
+    return RaftNode("g", "c/1", saved, Kept(World(0, 0)), TIMINGS, Random(1), Invariants(), 0.0)
 
 
 def errors(effects: list[Effect]) -> list[str]:
-    return [one.event for one in effects if isinstance(one, Say) and one.level == "error"]
+    return [one.event for one in effects if isinstance(one, LogEvent) and one.level == "error"]
 
 
 def test_a_member_that_lost_what_it_acknowledged_is_told_of_once() -> None:
     """A folder put back from a copy: no promise holds for that, but nobody else could say so.  It is asked
     once a beat, and its refusals do not make appends of their own."""
     replica, _ = leading(5, 1, 1, 1)
-    replica.handle(2001.0, Received("c/1", Appended("g", 5, True, 4, 1)))
+    replica.handle(2001.0, MessageReceived("c/1", AppendEntriesReply("g", 5, True, 4, 1)))
     out, appends = beats(replica, follower(1, 1), 2100.0, 9)
     assert errors(out) == ["copy-went-back"] and appends <= 9 + 1
     out, _ = beats(replica, follower(1, 1, 1, 5), 3000.0, 2)  # it has all again, and loses it again
@@ -1722,18 +1806,18 @@
     replica, _ = leading(5, 1, 1, 1)
     other = follower(1, 1, 1, 1, 1)
     replica.handle(
-        2001.0, Received("c/1", Appended("g", 5, True, 3, 1))
+        2001.0, MessageReceived("c/1", AppendEntriesReply("g", 5, True, 3, 1))
     )  # entry 4 goes out behind it, and is lost
     late = [
         one
-        for one in other.handle(2002.0, Received("a/1", Append("g", 5, 4, 5, (), 0, 1)))
-        if isinstance(one, Send)
+        for one in other.handle(2002.0, MessageReceived("a/1", AppendEntries("g", 5, 4, 5, (), 0, 1)))
+        if isinstance(one, SendMessage)
     ]
-    assert [one.message for one in late] == [Appended("g", 5, False, 1, 1)]
+    assert [one.message for one in late] == [AppendEntriesReply("g", 5, False, 1, 1)]
     out, _ = beats(replica, other, 2100.0, 3)
     assert match(replica, "c/1") == 4 and other.last == 4
     for now in (2500.0, 2501.0, 2502.0):
-        out += replica.handle(now, Received("c/1", late[0].message))
+        out += replica.handle(now, MessageReceived("c/1", late[0].message))
     out += beats(replica, other, 2600.0, 3)[0]
     assert match(replica, "c/1") == 4 and not errors(out)
 
@@ -1741,17 +1825,17 @@
 def test_a_broken_rule_is_told_as_one() -> None:
     """Else an operator is told to see to a disk that has nothing."""
     replica, _ = copy(4, 1)
-    replica.handle(1.0, StoreBroke(InvariantBroken("g", "ID_ONCE: planted")))
+    replica.handle(1.0, StorageFailure(InvariantBroken("g", "ID_ONCE: planted")))
     assert isinstance(replica.stopped, InvariantBroken)
 
 
 def test_a_lease_ask_that_comes_again_late_takes_no_part() -> None:
     """The holder has given its part back since: nobody uses what it is granted now, and others get nothing
     for 2 s."""
-    floors = Floors(Timings(), Invariants())
+    floors = GuaranteedRates(Timings(), Invariants())
     floors.apply(
         1000.0,
-        contract.Open(
+        contract.OpenContract(
             id="o",
             tenant="t",
             contract="c",
@@ -1763,8 +1847,8 @@
         ),
     )
 
-    def ask(id_: str, holder: str, number: int, wish: float) -> Lease:
-        return Lease(
+    def ask(id_: str, holder: str, number: int, wish: float) -> RequestLease:
+        return RequestLease(
             id=id_,
             tenant="t",
             contract="c",
@@ -1787,9 +1871,9 @@
 @pytest.mark.parametrize(
     ("part", "make", "most"),
     [
-        (key_value.Promises, wide_promise, key_value.MOST_BYTES),
-        (unreported_usage.Owed, wide_batch, unreported_usage.MOST_BYTES),
-        (unreported_usage.Owed, narrow_batch, unreported_usage.MOST_BYTES),
+        (key_value.KeyValueStore, wide_promise, key_value.MOST_BYTES),
+        (unreported_usage.UnreportedUsage, wide_batch, unreported_usage.MOST_BYTES),
+        (unreported_usage.UnreportedUsage, narrow_batch, unreported_usage.MOST_BYTES),
     ],
 )
 def test_a_full_part_holds_no_more_bytes_than_its_bound(
@@ -1803,12 +1887,12 @@
         number += 1
     other = part()
     other.load(msgspec.msgpack.decode(msgspec.msgpack.encode(made.dump())))
-    assert isinstance(other.apply(0.0, make(number)).error, Crowded)
+    assert isinstance(other.apply(0.0, make(number)).error, Overloaded)
     size = len(msgspec.msgpack.encode(made.dump()))
     assert 0.8 * most < size <= most
-    if part is key_value.Promises:
+    if part is key_value.KeyValueStore:
         for one in (made, other):
-            assert one.apply(0.0, key_value.Promise(id="s", name=make(0).name, value="")).error is None
+            assert one.apply(0.0, key_value.PutValue(id="s", name=make(0).name, value="")).error is None
             assert one.apply(0.0, make(number)).error is None
 
 
@@ -1816,11 +1900,11 @@
     ("part", "make", "most"),
     [
         (
-            key_value.Promises,
-            lambda number: key_value.Promise(id="1", name=f"{number:0128}", value="v" * 1024),
+            key_value.KeyValueStore,
+            lambda number: key_value.PutValue(id="1", name=f"{number:0128}", value="v" * 1024),
             8192,
         ),
-        (unreported_usage.Owed, narrow_batch, 1024),
+        (unreported_usage.UnreportedUsage, narrow_batch, 1024),
     ],
 )
 def test_what_is_one_byte_a_character_fills_a_part_to_its_number(
@@ -1835,13 +1919,13 @@
 def test_one_wrong_clock_of_three_does_not_carry_the_time_ahead_while_one_is_lost() -> None:
     """Half an hour ahead for good, as a group's time never goes back: windows end before they begin."""
     names = ("a", "b", "c")
-    node = Node(
-        Setup("f", "a", "1", tuple(Member(name, "h") for name in names)),
+    node = ClusterNode(
+        NodeSetup("f", "a", "1", tuple(Member(name, "h") for name in names)),
         {},
         Random(1),
         0.0,
         1e12,
         Invariants(),
     )
-    node.handle(1.0, 1e12, Received("b/1", Ping(1, "a/1", (), 1e12 + 3_600_000.0)))
+    node.handle(1.0, 1e12, MessageReceived("b/1", Ping(1, "a/1", (), 1e12 + 3_600_000.0)))
     assert not node._timed or node.ahead < 1000.0
--- a/tests/cluster/test_rolling_restart.py
+++ b/tests/cluster/test_rolling_restart.py
@@ -16,35 +16,35 @@
 
 from badgeryoke.cluster import connection_limits
 from badgeryoke.cluster.connection_limits import (
-    Ask,
-    Connections,
-    ConnEnd,
-    ConnLeases,
-    Keeper,
-    Limit,
-    Unlimit,
+    ConnectionLeaseHolder,
+    ConnectionLeaseRequest,
+    ConnectionLimits,
+    ReleaseConnectionLeases,
+    RemoveConnectionLimit,
+    RequestConnectionLeases,
+    SetConnectionLimit,
     bucket,
     process,
 )
-from badgeryoke.cluster.errors import BadCall, UnknownOutcome, WrongState
-from badgeryoke.cluster.invariants import Broken, Invariants, Rule
-from badgeryoke.cluster.messages import name_of
+from badgeryoke.cluster.errors import InvalidCall, UnknownOutcome, WrongState
+from badgeryoke.cluster.invariants import Invariants, InvariantViolation, Rule
+from badgeryoke.cluster.messages import member_name
 from badgeryoke.cluster.rolling_restart import restart
 from badgeryoke.cluster.rolling_restart.restart import (
-    Duty,
-    Facts,
-    Roll,
-    RollAsk,
-    RollCancel,
-    Rolled,
-    RollResume,
-    Rolls,
-    RollStep,
-    Stand,
-    State,
+    CancelRollingRestart,
+    ClusterConditions,
+    DesiredState,
+    GatewayPhase,
+    RecordGatewayEvent,
+    RestartState,
+    ResumeGateway,
+    RollingRestart,
+    RollingRestartAgent,
+    RollingRestarts,
+    StartRollingRestart,
     least_ms,
 )
-from badgeryoke.cluster.state_machine.part import Applied, Command, View
+from badgeryoke.cluster.state_machine.part import ApplyResult, Command, LeaderView
 from badgeryoke.cluster.timings import Timings
 
 STEP = 100.0
@@ -54,7 +54,7 @@
 KERNEL_MS = 900.0  # until a server knows that a process is dead
 
 
-def view(now: float, since: float, **more: Any) -> View:
+def view(now: float, since: float, **more: Any) -> LeaderView:
     given: dict[str, Any] = {
         "me": "g0/1",
         "alive": frozenset(),
@@ -65,7 +65,7 @@
         "behind": {},
         **more,
     }
-    return View(now=now, wall=now, lead_since=since, timings=TIMINGS, **given)
+    return LeaderView(now=now, wall=now, lead_since=since, timings=TIMINGS, **given)
 
 
 # Connections
@@ -85,7 +85,7 @@
 class Gate:
     """One process of a gateway."""
 
-    keeper: Keeper
+    keeper: ConnectionLeaseHolder
     rate: float
     up: bool = True
     frozen: bool = False
@@ -103,10 +103,10 @@
 
     def __init__(self, draw: Random, limits: dict[str, int]) -> None:
         self.draw, self.limits, self.rules, self.true = draw, dict(limits), Invariants(), 0.0
-        self.state = Connections(self.rules, TIMINGS)
+        self.state = ConnectionLimits(self.rules, TIMINGS)
         self.rate, self.since = 1.0, 0.0
         self.sockets: dict[str, list[Socket]] = {server: [] for server in limits}
-        self.answers: dict[str, Applied] = {}
+        self.answers: dict[str, ApplyResult] = {}
         self.calls: list[tuple[float, Gate | None, Command]] = []  # on their way in
         self.replies: list[tuple[float, Gate, Command, Any]] = []
         for server, most in limits.items():
@@ -116,13 +116,13 @@
 
     def limit(self, server: str, most: int) -> None:
         self.limits[server] = most
-        self.state.apply(0, Limit(id="x", server=server, most=most, idle_ms=IDLE))
+        self.state.apply(0, SetConnectionLimit(id="x", server=server, most=most, idle_ms=IDLE))
 
     def start(self, name: str, boot: str) -> Gate:
         self.begun += 1
         rate = self.draw.choice((1.0 - DRIFT, 1.0, 1.0 + DRIFT))
         me = process(f"{name}/1", boot, str(self.begun))
-        return Gate(Keeper(me, TIMINGS, self.rules, self.true * rate, alone=True), rate)
+        return Gate(ConnectionLeaseHolder(me, TIMINGS, self.rules, self.true * rate, alone=True), rate)
 
     def kill(self, n: int, machine: bool) -> None:
         """The process dies; with its machine its kernel tells no server."""
@@ -138,7 +138,7 @@
     def lead(self) -> None:
         """Another leads, with its own clock."""
         raw = self.state.dump()
-        self.state = Connections(self.rules, TIMINGS)
+        self.state = ConnectionLimits(self.rules, TIMINGS)
         self.state.load(raw)
         assert self.state.dump() == raw
         self.rate = self.draw.choice((1.0 - DRIFT, 1.0, 1.0 + DRIFT))
@@ -210,7 +210,7 @@
             if server in self.state.servers:
                 granted = self.state.servers[server].parts.granted()
                 if len(held) > granted:
-                    raise Broken(
+                    raise InvariantViolation(
                         Rule.CONNECTIONS_FIT,
                         f"{server}: {len(held)} open, {granted:g} granted, {self.true:g}",
                     )
@@ -321,46 +321,48 @@
     for seed in range(seeds):
         try:
             run(seed)
-        except Broken as broken:
+        except InvariantViolation as broken:
             return broken.rule
     return None
 
 
 def closed_too_soon(patch: pytest.MonkeyPatch) -> None:
-    def closing(self: Keeper, server: str) -> None:
+    def closing(self: ConnectionLeaseHolder, server: str) -> None:
         self.pools[server].open -= 1
 
-    def closed(self: Keeper, server: str, begun: bool = False) -> None:
+    def closed(self: ConnectionLeaseHolder, server: str, begun: bool = False) -> None:
         self.pools[server].open -= not begun
 
-    patch.setattr(Keeper, "closing", closing)
-    patch.setattr(Keeper, "closed", closed)
+    patch.setattr(ConnectionLeaseHolder, "closing", closing)
+    patch.setattr(ConnectionLeaseHolder, "closed", closed)
 
 
 def counted_from_the_answer(patch: pytest.MonkeyPatch) -> None:
-    answered = Keeper.answered
+    answered = ConnectionLeaseHolder.answered
 
-    def late(self: Keeper, now: float, command: Command, result: Any) -> None:
+    def late(self: ConnectionLeaseHolder, now: float, command: Command, result: Any) -> None:
         if (out := self._out.get(command.key())) is not None:
             out.asked = now
         answered(self, now, command, result)
 
-    patch.setattr(Keeper, "answered", late)
+    patch.setattr(ConnectionLeaseHolder, "answered", late)
 
 
 def without_idle(patch: pytest.MonkeyPatch) -> None:
     patch.setattr(
-        Connections, "patience", lambda self, idle: self.lease_ms() * (1 + DRIFT) / (1 - DRIFT) + 300.0
+        ConnectionLimits, "patience", lambda self, idle: self.lease_ms() * (1 + DRIFT) / (1 - DRIFT) + 300.0
     )
 
 
 def without_margin(patch: pytest.MonkeyPatch) -> None:
-    patch.setattr(Connections, "patience", lambda self, idle: self.lease_ms() + idle)
+    patch.setattr(ConnectionLimits, "patience", lambda self, idle: self.lease_ms() + idle)
 
 
 def opened_before_told(patch: pytest.MonkeyPatch) -> None:
     patch.setattr(
-        Keeper, "may_open", lambda self, now, server: self.pools[server].open < self.pools[server].part
+        ConnectionLeaseHolder,
+        "may_open",
+        lambda self, now, server: self.pools[server].open < self.pools[server].part,
     )
 
 
@@ -382,15 +384,24 @@
 
 
 def test_who_may_vouch_and_what_is_refused() -> None:
-    state = Connections(Invariants(), TIMINGS)
+    state = ConnectionLimits(Invariants(), TIMINGS)
     where = bucket("a")
-    assert isinstance(state.apply(0, Limit(id="1", server="a", most=0, idle_ms=1.0)).error, BadCall)
-    assert state.apply(0, Limit(id="2", server="a", most=5, idle_ms=1.0)).error is None
+    assert isinstance(
+        state.apply(0, SetConnectionLimit(id="1", server="a", most=0, idle_ms=1.0)).error, InvalidCall
+    )
+    assert state.apply(0, SetConnectionLimit(id="2", server="a", most=5, idle_ms=1.0)).error is None
     old, new, other = process("g1/1", "b", "1"), process("g1/2", "b", "2"), process("g1/1", "c", "3")
 
     def ask(who: str, number: int, keep: int, wish: int) -> Any:
         return state.apply(
-            0, ConnLeases(id="3", holder=who, bucket=where, asks=(Ask("a", number, keep, wish),), fresh=True)
+            0,
+            RequestConnectionLeases(
+                id="3",
+                holder=who,
+                bucket=where,
+                asks=(ConnectionLeaseRequest("a", number, keep, wish),),
+                fresh=True,
+            ),
         ).value
 
     assert ask(old, 0, 0, 4) == {"parts": [["a", 1, 4, 4, 1]], "old": []}
@@ -398,28 +409,31 @@
     assert ask(old, 9, 0, 4)["parts"] == [["a", connection_limits.OVER, 0, 0, 0]]
     for by in (old, other, "g1/1#.4"):
         told = state.apply(
-            0, ConnEnd(id="4", holder=old, bucket=where, ends=(("a", 1),), proof="reset", by=by)
+            0,
+            ReleaseConnectionLeases(id="4", holder=old, bucket=where, ends=(("a", 1),), proof="reset", by=by),
         )
-        assert isinstance(told.error, BadCall)
-    ended = ConnEnd(id="5", holder=old, bucket=where, ends=(("a", 1),), proof="reset", by=new)
+        assert isinstance(told.error, InvalidCall)
+    ended = ReleaseConnectionLeases(id="5", holder=old, bucket=where, ends=(("a", 1),), proof="reset", by=new)
     assert [state.apply(0, ended).value for _ in range(2)] == [{"ended": 1}, {"ended": 0}]
     # A lower limit takes nothing away, and nobody gets more until enough has come back.
     assert ask(new, 2, 1, 5)["parts"] == [["a", 3, 5, 5, 0]]
-    assert state.apply(0, Limit(id="6", server="a", most=2, idle_ms=1.0)).value == {"granted": 5}
+    assert state.apply(0, SetConnectionLimit(id="6", server="a", most=2, idle_ms=1.0)).value == {"granted": 5}
     assert ask(other, 0, 0, 5)["parts"] == [["a", 4, 0, 1, 0]]
     assert ask(new, 3, 5, 5)["parts"] == [["a", 5, 5, 1, 0]]
     assert ask(new, 5, 1, 1)["parts"][0][1:3] == [6, 1] and ask(other, 4, 0, 5)["parts"][0][2] == 1
-    state.apply(0, Unlimit(id="7", server="a"))
+    state.apply(0, RemoveConnectionLimit(id="7", server="a"))
     assert ask(new, 6, 0, 0) and ask(other, 7, 0, 0) and not state.servers
 
 
 def test_renewals_go_in_batches() -> None:
     """At 200 gateways that all use 120 servers, twenty times what is counted here."""
-    state = Connections(Invariants(), TIMINGS)
+    state = ConnectionLimits(Invariants(), TIMINGS)
     servers = [f"10.0.0.{n}:7000" for n in range(120)]
     for server in servers:
-        state.apply(0, Limit(id="x", server=server, most=40, idle_ms=IDLE))
-    keepers = [Keeper(process(f"g{n}/1", "b", "1"), TIMINGS, Invariants(), 0.0) for n in range(10)]
+        state.apply(0, SetConnectionLimit(id="x", server=server, most=40, idle_ms=IDLE))
+    keepers = [
+        ConnectionLeaseHolder(process(f"g{n}/1", "b", "1"), TIMINGS, Invariants(), 0.0) for n in range(10)
+    ]
     calls = 0
     for now in range(0, 20_000, 500):
         for keeper in keepers:
@@ -432,11 +446,13 @@
 
 
 def test_who_leaves_gives_back_a_lease_on_nothing_at_once_and_may_ask_again_at_once() -> None:
-    state = Connections(Invariants(), TIMINGS)
-    state.apply(0, Limit(id="1", server="a", most=1, idle_ms=IDLE))
-    first, second = (Keeper(process(f"g{n}/1", "b", "1"), TIMINGS, Invariants(), 0.0) for n in (1, 2))
+    state = ConnectionLimits(Invariants(), TIMINGS)
+    state.apply(0, SetConnectionLimit(id="1", server="a", most=1, idle_ms=IDLE))
+    first, second = (
+        ConnectionLeaseHolder(process(f"g{n}/1", "b", "1"), TIMINGS, Invariants(), 0.0) for n in (1, 2)
+    )
 
-    def polled(now: float, keeper: Keeper) -> int:
+    def polled(now: float, keeper: ConnectionLeaseHolder) -> int:
         made = keeper.poll(now, now)
         for command in made:
             keeper.answered(now, command, state.apply(now, command))
@@ -466,7 +482,7 @@
 class Pooler:
     """A gateway as the roll sees it."""
 
-    side: Rolled
+    side: RollingRestartAgent
     up: bool = True
     cut: bool = False
     frozen: bool = False
@@ -482,7 +498,7 @@
 
     def __init__(self, draw: Random, loss: float = 0.1) -> None:
         self.draw, self.loss, self.rules, self.now, self.starts = draw, loss, Invariants(), 0.0, 0
-        self.state = Rolls(self.rules)
+        self.state = RollingRestarts(self.rules)
         self.leader, self.leaderless = 0, 0.0
         self.gates = {name: Pooler(self.process(name)) for name in NAMES}
         self.late: list[tuple[float, Command]] = []
@@ -490,21 +506,21 @@
         self.load = {"capacity": 500.0, "demand": 300.0, "promised": 0.0}
         self.hook: Callable[[], None] = lambda: None
 
-    def process(self, name: str) -> Rolled:
+    def process(self, name: str) -> RollingRestartAgent:
         self.starts += 1
-        return Rolled(name, process(f"{name}/1", "b", str(self.starts)))
+        return RollingRestartAgent(name, process(f"{name}/1", "b", str(self.starts)))
 
     def caught_up(self, name: str) -> bool:
         gate = self.gates[name]
         return gate.up and self.now - gate.begun >= (CATCH_UP_MS if gate.begun else 0.0)
 
-    def view(self) -> View:
+    def view(self) -> LeaderView:
         alive = frozenset(
             f"{name}/1" for name, one in self.gates.items() if one.up and not one.cut and not one.frozen
         )
         dead = {f"{name}/1": 9999.0 for name in NAMES if f"{name}/1" not in alive}
         behind = {
-            group: tuple(who for who in voters if who in alive and not self.caught_up(name_of(who)))
+            group: tuple(who for who in voters if who in alive and not self.caught_up(member_name(who)))
             for group, voters in GROUPS.items()
         }
         return view(
@@ -519,30 +535,32 @@
             behind=behind,
         )
 
-    def take(self, command: Command) -> Applied:
+    def take(self, command: Command) -> ApplyResult:
         waits = {
             (roll.name, name)
             for roll in self.state.rolls.values()
             for name, one in roll.gateways.items()
-            if one.stand is Stand.WAITING
+            if one.stand is GatewayPhase.WAITING
         }
         answer = self.state.apply(self.now, command)
         begun = [
-            key for key in sorted(waits) if self.state.rolls[key[0]].gateways[key[1]].stand is Stand.GRANTING
+            key
+            for key in sorted(waits)
+            if self.state.rolls[key[0]].gateways[key[1]].stand is GatewayPhase.GRANTING
         ]
         if begun:
             short = [name for name in NAMES if not self.caught_up(name)]
             if short:
-                raise Broken(Rule.COPIES_WHOLE, f"{begun} while {short} are not whole")
+                raise InvariantViolation(Rule.COPIES_WHOLE, f"{begun} while {short} are not whole")
             stays = len(NAMES) - len(begun)
             if self.load["capacity"] * stays / len(NAMES) < self.load["demand"] + self.load["promised"]:
-                raise Broken(Rule.WAVE_KEEPS_ROOM, f"{begun} with {self.load}")
+                raise InvariantViolation(Rule.WAVE_KEEPS_ROOM, f"{begun} with {self.load}")
         return answer
 
     def lead(self) -> None:
         """The leader dies; another goes on with what is in the log."""
         raw = self.state.dump()
-        self.state = Rolls(self.rules)
+        self.state = RollingRestarts(self.rules)
         self.state.load(raw)
         assert self.state.dump() == raw
         self.leader, self.leaderless = (self.leader + 1) % 5, self.now + 500.0
@@ -561,7 +579,7 @@
             self.late.remove(one)
             command = one[1]
             if (
-                not isinstance(command, restart.RollWave)
+                not isinstance(command, restart.StartWave)
                 or command.stamp != self.state.rolls[command.roll].changes
             ):
                 self.take(
@@ -587,13 +605,13 @@
             lost = self.draw.random() < self.loss
             gate.side.answered(self.now, command, UnknownOutcome("x", "no answer") if lost else answer)
         for duty in gate.side.duties(self.now):
-            if duty is Duty.PAUSE:
+            if duty is DesiredState.PAUSE:
                 key = gate.side.record["roll"], name
                 self.drains[key] = self.drains.get(key, 0) + 1
                 if self.drains[key] > 1:
-                    raise Broken(Rule.ROLL_FORWARD, f"{key} drained twice")
+                    raise InvariantViolation(Rule.ROLL_FORWARD, f"{key} drained twice")
                 gate.drained, gate.since = True, self.now
-            elif duty is Duty.RESUME:
+            elif duty is DesiredState.RESUME:
                 gate.drained = False
             else:
                 self.kill(name, BACK_MS)
@@ -610,15 +628,16 @@
             if not gate.up and gate.back < 0:
                 gate.back = self.now
 
-    def settle(self) -> Roll | None:
+    def settle(self) -> RollingRestart | None:
         """Run on until no roll is under way; nobody may be left drained."""
         for _ in range(1200):
             if (roll := self.state.active) is None:
                 break
             if any(
-                one.stand is Stand.HELD and self.now - one.since >= 1500.0 for one in roll.gateways.values()
+                one.stand is GatewayPhase.HELD and self.now - one.since >= 1500.0
+                for one in roll.gateways.values()
             ):
-                self.state.apply(self.now, RollResume(id="r", roll=roll.name))
+                self.state.apply(self.now, ResumeGateway(id="r", roll=roll.name))
             self.tick()
         assert self.state.active is None, self.state.told()
         for _ in range(60):
@@ -627,10 +646,10 @@
         assert not self.rules.broken
         return next(reversed(self.state.rolls.values()), None)
 
-    def ask(self, **more: Any) -> Applied:
+    def ask(self, **more: Any) -> ApplyResult:
         asked: dict[str, Any] = {"deadline_ms": 4000.0, "warm_ms": 500.0, **more}
         return self.state.apply(
-            self.now, RollAsk(id="a", roll=f"roll-{len(self.drains)}-{self.now:g}", **asked)
+            self.now, StartRollingRestart(id="a", roll=f"roll-{len(self.drains)}-{self.now:g}", **asked)
         )
 
     def act(self) -> None:
@@ -646,7 +665,7 @@
                 hall=draw.choice(("", "", "north")),
             )
         elif what == 2 and (roll := self.state.active) is not None:
-            self.state.apply(self.now, RollCancel(id="c", roll=roll.name))
+            self.state.apply(self.now, CancelRollingRestart(id="c", roll=roll.name))
         elif what == 3 and gate.up:
             self.kill(name, draw.choice((-1.0, 300.0, 3000.0)))
         elif what == 4:
@@ -700,27 +719,29 @@
 
 
 def without_copies(patch: pytest.MonkeyPatch) -> None:
-    count = Rolls.count
+    count = RollingRestarts.count
 
-    def blind(self: Rolls, *given: Any) -> Facts:
+    def blind(self: RollingRestarts, *given: Any) -> ClusterConditions:
         return msgspec.structs.replace(count(self, *given), missing=0)
 
-    patch.setattr(Rolls, "count", blind)
+    patch.setattr(RollingRestarts, "count", blind)
 
 
 def without_compare(patch: pytest.MonkeyPatch) -> None:
-    patch.setattr(Rolls, "_current", lambda self, one, round_: True)
+    patch.setattr(RollingRestarts, "_current", lambda self, one, round_: True)
     table = dict(restart.STEPS)
     for (_, step), after in restart.STEPS.items():
-        if step is not restart.Step.CANCEL:
-            table.update({(stand, step): after for stand in Stand if (stand, step) not in restart.STEPS})
+        if step is not restart.GatewayEvent.CANCEL:
+            table.update(
+                {(stand, step): after for stand in GatewayPhase if (stand, step) not in restart.STEPS}
+            )
     patch.setattr(restart, "STEPS", table)
 
 
 def without_majority(patch: pytest.MonkeyPatch) -> None:
-    patch.setattr(Facts, "fault", lambda self: (Rule.COPIES_WHOLE, "x") if self.missing else None)
+    patch.setattr(ClusterConditions, "fault", lambda self: (Rule.COPIES_WHOLE, "x") if self.missing else None)
     patch.setattr(
-        Rolls,
+        RollingRestarts,
         "_allowed",
         lambda self, roll, facts: (
             ""
@@ -733,8 +754,12 @@
 
 
 def without_room(patch: pytest.MonkeyPatch) -> None:
-    fault = Facts.fault
-    patch.setattr(Facts, "fault", lambda self: fault(Facts(self.missing, self.spare, self.halls, -1.0, 0.0)))
+    fault = ClusterConditions.fault
+    patch.setattr(
+        ClusterConditions,
+        "fault",
+        lambda self: fault(ClusterConditions(self.missing, self.spare, self.halls, -1.0, 0.0)),
+    )
 
 
 @pytest.mark.parametrize(
@@ -755,16 +780,16 @@
 
 STANDS = {
     "restart": (
-        Stand.WAITING,
-        Stand.GRANTING,
-        Stand.PAUSING,
-        Stand.EMPTYING,
-        Stand.ACTING,
-        Stand.RETURNING,
-        Stand.WARMING,
-        Stand.DONE,
+        GatewayPhase.WAITING,
+        GatewayPhase.GRANTING,
+        GatewayPhase.PAUSING,
+        GatewayPhase.EMPTYING,
+        GatewayPhase.ACTING,
+        GatewayPhase.RETURNING,
+        GatewayPhase.WARMING,
+        GatewayPhase.DONE,
     ),
-    "hold": (Stand.PAUSING, Stand.EMPTYING, Stand.HELD, Stand.RETURNING),
+    "hold": (GatewayPhase.PAUSING, GatewayPhase.EMPTYING, GatewayPhase.HELD, GatewayPhase.RETURNING),
 }
 
 
@@ -774,7 +799,7 @@
 @pytest.mark.parametrize(
     ("act", "stand"), [(act, stand) for act, stands in STANDS.items() for stand in stands]
 )
-def test_at_each_step(event: str, act: str, stand: Stand) -> None:
+def test_at_each_step(event: str, act: str, stand: GatewayPhase) -> None:
     """Cancelled, or without its leader or the gateway, at each stand of one gateway."""
     world = Rolling(Random(0), loss=0.0)
     world.ask(act=act)
@@ -788,7 +813,7 @@
             return
         seen.append(world.now)
         if "cancel" in event:
-            world.state.apply(world.now, RollCancel(id="c", roll=roll.name))
+            world.state.apply(world.now, CancelRollingRestart(id="c", roll=roll.name))
         if "leader" in event:
             world.lead()
         if event == "gateway dies" and world.gates["g1"].up:
@@ -799,10 +824,10 @@
     world.hook = hook
     roll = world.settle()
     assert seen and roll is not None
-    assert roll.state is (State.CANCELLED if "cancel" in event else State.DONE)
+    assert roll.state is (RestartState.CANCELLED if "cancel" in event else RestartState.DONE)
     assert all(count == 1 for count in world.drains.values())
     if "cancel" not in event:
-        assert {one.stand for one in roll.gateways.values()} == {Stand.DONE}
+        assert {one.stand for one in roll.gateways.values()} == {GatewayPhase.DONE}
 
 
 def test_a_roll_says_why_it_waits_and_goes_on() -> None:
@@ -811,39 +836,43 @@
     world.ask()
     assert isinstance(world.ask().error, WrongState)
 
-    def until(state: State, why: str) -> None:
+    def until(state: RestartState, why: str) -> None:
         for _ in range(400):
             world.tick()
             if (roll := world.state.active) is not None and roll.state is state and why in roll.why:
                 return
         raise AssertionError(world.state.told())
 
-    until(State.PAUSED, "g1 is late emptying")
+    until(RestartState.PAUSED, "g1 is late emptying")
     world.gates["g1"].stuck = False
-    until(State.RUNNING, "")
+    until(RestartState.RUNNING, "")
     world.load["promised"] = 150.0
-    until(State.PAUSED, "no room")
+    until(RestartState.PAUSED, "no room")
     world.load["promised"] = 0.0
-    until(State.RUNNING, "")
+    until(RestartState.RUNNING, "")
     world.kill("g3", -1.0)
-    until(State.PAUSED, "copies not whole")
+    until(RestartState.PAUSED, "copies not whole")
     world.kill("g3", 0.0)
-    until(State.RUNNING, "")
+    until(RestartState.RUNNING, "")
     world.gates["g0"].stuck = True
-    until(State.PAUSED, "g0 is late emptying")
+    until(RestartState.PAUSED, "g0 is late emptying")
     assert world.state.active is not None
-    world.state.apply(world.now, RollResume(id="f", roll=world.state.active.name, force=True))
+    world.state.apply(world.now, ResumeGateway(id="f", roll=world.state.active.name, force=True))
     roll = world.settle()
-    assert roll is not None and roll.state is State.DONE
+    assert roll is not None and roll.state is RestartState.DONE
     for hall in ("south", "nowhere"):
         world.ask(hall=hall)
         done = world.settle()
-        assert done is not None and done.state is (State.DONE if hall == "south" else State.FAILED)
+        assert done is not None and done.state is (
+            RestartState.DONE if hall == "south" else RestartState.FAILED
+        )
 
 
 def test_a_copy_of_an_earlier_incarnation_is_none() -> None:
     """A machine that lost its disk and was back at once passed for whole until a leader had reported it."""
-    roll = Roll("r", RollAsk(id="1", roll="r"), gateways={"g0": restart.Gateway()})
+    roll = RollingRestart(
+        "r", StartRollingRestart(id="1", roll="r"), gateways={"g0": restart.GatewayProgress()}
+    )
     groups = {"G": ("g0/1", "g1/1", "g2/1")}
     for here, fault in (
         (("g0/1", "g1/1", "g2/1"), None),
@@ -852,26 +881,28 @@
         seen = view(
             0.0, 0.0, alive=frozenset(here), halls=dict.fromkeys(("g0", "g1", "g2"), "h"), groups=groups
         )
-        found = Rolls(Invariants()).count(seen, roll, ["g0"]).fault()
+        found = RollingRestarts(Invariants()).count(seen, roll, ["g0"]).fault()
         assert (found and found[1]) == fault
     # One that loses its disk while it is turning clients away has no copies to leave behind; one that has
     # left has.
     lost = view(
         0.0, 0.0, alive=frozenset(("g0/2", "g1/1", "g2/1")), halls={"g0": "h", "g1": "h"}, groups=groups
     )
-    for stand, missing in ((Stand.EMPTYING, 1), (Stand.ACTING, 0)):
+    for stand, missing in ((GatewayPhase.EMPTYING, 1), (GatewayPhase.ACTING, 0)):
         roll.gateways["g0"].stand = stand
-        assert Rolls(Invariants()).count(lost, roll, ()).missing == missing
+        assert RollingRestarts(Invariants()).count(lost, roll, ()).missing == missing
 
 
 def test_two_of_a_wave_that_come_to_share_a_group_leave_one_after_the_other() -> None:
     """A copy was made again at one of them while both turned clients away: neither could leave, for good."""
-    rolls = Rolls(Invariants())
-    rolls.rolls["r"] = roll = Roll(
+    rolls = RollingRestarts(Invariants())
+    rolls.rolls["r"] = roll = RollingRestart(
         "r",
-        RollAsk(id="1", roll="r", at_once=2),
-        State.RUNNING,
-        gateways={name: restart.Gateway(Stand.EMPTYING, told="empty") for name in ("g0", "g1")},
+        StartRollingRestart(id="1", roll="r", at_once=2),
+        RestartState.RUNNING,
+        gateways={
+            name: restart.GatewayProgress(GatewayPhase.EMPTYING, told="empty") for name in ("g0", "g1")
+        },
     )
     seen = view(
         0.0,
@@ -882,13 +913,13 @@
     )
     stale = msgspec.structs.replace(rolls.work(seen)[0], gateway="g1")
     (step,) = rolls.work(seen)
-    assert rolls.apply(0.0, step).error is None and roll.gateways["g0"].stand is Stand.ACTING
+    assert rolls.apply(0.0, step).error is None and roll.gateways["g0"].stand is GatewayPhase.ACTING
     assert isinstance(rolls.apply(0.0, stale).error, WrongState)  # counted before the other left
-    assert not [one for one in rolls.work(seen) if isinstance(one, RollStep)]
-    roll.gateways["g0"].stand = Stand.WARMING
-    assert [one.gateway for one in rolls.work(seen) if isinstance(one, RollStep) and one.step == "ACT"] == [
-        "g1"
-    ]
+    assert not [one for one in rolls.work(seen) if isinstance(one, RecordGatewayEvent)]
+    roll.gateways["g0"].stand = GatewayPhase.WARMING
+    assert [
+        one.gateway for one in rolls.work(seen) if isinstance(one, RecordGatewayEvent) and one.step == "ACT"
+    ] == ["g1"]
 
 
 def test_a_roll_takes_little_longer_than_the_limits_allow() -> None:
@@ -896,7 +927,7 @@
     world.ask(at_once=3, warm_ms=2000.0)
     roll = world.settle()
     assert roll is not None
-    named = {group: tuple(name_of(who) for who in voters) for group, voters in GROUPS.items()}
+    named = {group: tuple(member_name(who) for who in voters) for group, voters in GROUPS.items()}
     # Turning away at once, then empty, ended and back, caught up, warm.
     least = least_ms(NAMES, named, HALLS, 3, 0.6, EMPTY_MS + BACK_MS + CATCH_UP_MS + 2000.0)
     assert least == 5 * 4000.0
--- a/tests/decisions/counter_health/test_detector.py
+++ b/tests/decisions/counter_health/test_detector.py
@@ -10,11 +10,17 @@
 from badgeryoke.decisions import interface as api
 from badgeryoke.decisions.counter_health import presence_register
 from badgeryoke.decisions.counter_health.ceiling_guard import CeilingGuard
-from badgeryoke.decisions.counter_health.detector import HOLD_MS, TRANSITIONS, Belief, Sign, Watch
+from badgeryoke.decisions.counter_health.detector import (
+    HOLD_MS,
+    TRANSITIONS,
+    CounterHealthDetector,
+    CounterState,
+    Symptom,
+)
 from badgeryoke.decisions.counter_health.error_bound import beyond_units, noticed_ms, stated
-from badgeryoke.decisions.counter_health.monitored_policy import Guarded
-from badgeryoke.decisions.counter_health.visibility import Sight
-from badgeryoke.decisions.policy.engine import Gateway, Ledger, Meter, name_of
+from badgeryoke.decisions.counter_health.monitored_policy import MonitoredEngine
+from badgeryoke.decisions.counter_health.visibility import Visibility
+from badgeryoke.decisions.policy.engine import CustomerQuota, DecisionEngine, GcraBucket, name_of
 from tests.support.samples import CAPPED, PLAIN, SETTINGS, admit, request, server
 
 T0 = 48_000_000.0  # an era begins here
@@ -35,7 +41,7 @@
 
 
 def test_an_era_has_no_more_beats_than_a_digit_holds() -> None:
-    watch = Watch(2, 3, 50.0)
+    watch = CounterHealthDetector(2, 3, 50.0)
     for skew in (0.0, 17.0, 599.0):
         now, beats = T0 + skew, 0
         while now < T0 + presence_register.ERA_MS:
@@ -46,7 +52,7 @@
 def test_a_clock_that_is_set_back_makes_no_beats_one_behind_another() -> None:
     """It stands still until the time comes round again; each beat found itself early and made another, until
     the digit was at its top and stood still in turn."""
-    watch = Watch(0, 3, 50.0)
+    watch = CounterHealthDetector(0, 3, 50.0)
     now = watch.next_beat(T0 + 5000.0)
     for call in watch.beat(now):
         watch.answer(now, call, True, 1.0, call.units)
@@ -66,22 +72,22 @@
 
 
 def test_every_belief_knows_every_sign() -> None:
-    assert set(TRANSITIONS) == set(Belief)
+    assert set(TRANSITIONS) == set(CounterState)
     for row in TRANSITIONS.values():
-        assert set(row) == set(Sign)
+        assert set(row) == set(Symptom)
 
 
 class Fleet:
     """Watches that share one counter, or halves of it; time goes from beat to beat."""
 
     def __init__(self, gateways: int, started: int | None = None) -> None:
-        self.watches = {me: Watch(me, gateways, 50.0) for me in range(started or gateways)}
+        self.watches = {me: CounterHealthDetector(me, gateways, 50.0) for me in range(started or gateways)}
         self.sides: dict[int, dict[int, float]] = {}
         self.whole: dict[int, float] = {}
         self.now = T0
         self.deaf: set[int] = set()
         self.calls = 0
-        self.seen: list[tuple[float, int, Belief]] = []
+        self.seen: list[tuple[float, int, CounterState]] = []
 
     def run(self, ms: float) -> None:
         """Let beats come due for so long."""
@@ -108,7 +114,7 @@
             side = dict(self.whole)
             self.sides.update(dict.fromkeys(group, side))
 
-    def beliefs(self) -> list[Belief]:
+    def beliefs(self) -> list[CounterState]:
         return [watch.belief for watch in self.watches.values()]
 
 
@@ -116,7 +122,7 @@
 def test_a_quiet_fleet_is_sound_and_calls_no_more_than_stated(gateways: int) -> None:
     fleet = Fleet(gateways)
     fleet.run(60_000.0)
-    assert {belief for _, _, belief in fleet.seen} == set(fleet.beliefs()) == {Belief.SOUND}
+    assert {belief for _, _, belief in fleet.seen} == set(fleet.beliefs()) == {CounterState.SOUND}
     assert all(not watch.sight.hidden for watch in fleet.watches.values())
     assert fleet.calls <= gateways * 2.0 * 60
 
@@ -124,7 +130,7 @@
 def test_fewer_than_the_settings_say_is_no_trouble() -> None:
     fleet = Fleet(3, started=2)
     fleet.run(30_000.0)
-    assert set(fleet.beliefs()) == {Belief.SOUND}
+    assert set(fleet.beliefs()) == {CounterState.SOUND}
     assert fleet.watches[0].sight.part(0, 3) == 1.0
 
 
@@ -149,7 +155,7 @@
     fleet.run(HOLD_MS + 3 * presence_register.BEAT_MS)
     assert [watch.sight.part(0, 3) for watch in fleet.watches.values()] == [1.0] * 3
     fleet.run(2 * HOLD_MS)
-    assert set(fleet.beliefs()) == {Belief.SOUND}
+    assert set(fleet.beliefs()) == {CounterState.SOUND}
 
 
 def test_a_lone_half_says_split_and_the_others_that_one_is_missing() -> None:
@@ -157,13 +163,13 @@
     fleet.run(10_000.0)
     fleet.split((0,), (1, 2))
     fleet.run(2000.0)
-    assert fleet.beliefs() == [Belief.SPLIT, Belief.MISSING, Belief.MISSING]
+    assert fleet.beliefs() == [CounterState.SPLIT, CounterState.MISSING, CounterState.MISSING]
 
 
 def test_a_dead_gateway_whose_clients_come_is_absent_and_its_part_is_used() -> None:
     fleet = Fleet(3)
     del fleet.watches[2]
-    fleet.watches[2] = Watch(2, 3, 50.0)
+    fleet.watches[2] = CounterHealthDetector(2, 3, 50.0)
     for second in range(50):
         if second == 20:
             del fleet.watches[2]
@@ -171,7 +177,7 @@
             for _ in range(100 if second < 22 else 150):
                 watch.tried()
         fleet.run(1000.0)
-    assert fleet.beliefs() == [Belief.ABSENT] * 2
+    assert fleet.beliefs() == [CounterState.ABSENT] * 2
     sight = fleet.watches[0].sight
     assert sight.part(0, 3) == 1.0  # no ceiling: all of it
     assert sight.part(0, 3, 1.2) == pytest.approx(0.8)  # and with one only what holds if the guess is wrong
@@ -182,18 +188,18 @@
     fleet.run(10_000.0)
     fleet.deaf = {0, 1, 2}
     fleet.run(3000.0)
-    assert set(fleet.beliefs()) == {Belief.DEAD}
+    assert set(fleet.beliefs()) == {CounterState.DEAD}
     assert all(watch.sight.part(0, 3) == pytest.approx(1 / 3) for watch in fleet.watches.values())
 
 
 def test_calls_that_are_only_late_are_a_slow_counter() -> None:
-    watch = Watch(0, 1, 50.0)
+    watch = CounterHealthDetector(0, 1, 50.0)
     now = T0
     for _ in range(40):
         now = watch.next_beat(now)
         for call in watch.beat(now):
             watch.answer(now + 30, call, True, 30.0, call.units)
-    assert watch.belief is Belief.SLOW
+    assert watch.belief is CounterState.SLOW
 
 
 @pytest.mark.parametrize("lost_ms", [1000.0, 10_000.0])
@@ -207,12 +213,12 @@
     fleet.run(6 * presence_register.BEAT_MS)
     epochs = {watch.sight.epoch for watch in fleet.watches.values()}
     assert len(epochs) == 1 and epochs != {0}
-    assert Belief.SWAPPED in {belief for _, _, belief in fleet.seen}
+    assert CounterState.SWAPPED in {belief for _, _, belief in fleet.seen}
     assert not any(watch.sight.hidden for watch in fleet.watches.values())
 
 
 def test_a_loss_that_could_not_be_told_is_told_again_and_an_epoch_ends_for_all_at_once() -> None:
-    watch, whole = Watch(0, 3, 50.0), dict[int, float]()
+    watch, whole = CounterHealthDetector(0, 3, 50.0), dict[int, float]()
     told: list[int] = []
     now = T0
     for beat in range(30):
@@ -255,38 +261,42 @@
 
 
 def test_a_part_is_a_meter_behind_the_quotas() -> None:
-    quota = Meter(10.0, 30.0, 0.0)
-    quota.half = Meter(10.0 / 3, 10.0, 0.0)
+    quota = GcraBucket(10.0, 30.0, 0.0)
+    quota.half = GcraBucket(10.0 / 3, 10.0, 0.0)
     assert quota.room(0.0) == pytest.approx(10.0)
     quota.take(10.0, 0.0)
     assert quota.wait(0.0, 1.0) == pytest.approx(300.0)
     assert quota.tat == pytest.approx(1000.0) and quota.half.tat == pytest.approx(3000.0)
 
 
-def guarded(me: int = 0, gateways: int = 2) -> Guarded:
-    made = Guarded(replace(SETTINGS, me=me, gateways=gateways, plans=(PLAIN, CAPPED)), 1)
-    made.handle(T0, api.Members(api.Scope.WARM_COPY, (api.Server(1, "a", "std", 0, api.State.UP),)))
+def guarded(me: int = 0, gateways: int = 2) -> MonitoredEngine:
+    made = MonitoredEngine(
+        replace(SETTINGS, gateway_index=me, gateway_count=gateways, plans=(PLAIN, CAPPED)), 1
+    )
+    made.handle(
+        T0, api.EndpointList(api.ListScope.CACHED, (api.Server(1, "a", "std", 0, api.EndpointState.UP),))
+    )
     return made
 
 
 def test_a_watch_needs_a_counter() -> None:
     with pytest.raises(ValueError, match="has_counter"):
-        Guarded(replace(SETTINGS, has_counter=False), 1)
+        MonitoredEngine(replace(SETTINGS, has_counter=False), 1)
 
 
 def test_a_new_gateway_grants_no_burst_while_nobody_is_in_sight() -> None:
     made = guarded()
     led = made.quota.ledger(T0 + 1, request("r", plan="plain"))
     assert led.quota.wait(T0 + 1, 1.0) > 0
-    plain = Gateway(SETTINGS, 1)
-    plain.handle(T0, api.Members(api.Scope.WARM_COPY, ()))
+    plain = DecisionEngine(SETTINGS, 1)
+    plain.handle(T0, api.EndpointList(api.ListScope.CACHED, ()))
     assert plain._quota.ledger(T0 + 1, request("r", plan="plain")).quota.wait(T0 + 1, 1.0) <= 0
 
 
 def test_after_a_swap_the_own_units_of_the_period_are_told_once_under_the_new_name() -> None:
-    made = Gateway(SETTINGS, 1)
-    made.handle(T0, api.Members(api.Scope.WARM_COPY, tuple(map(server, range(1, 9)))))
-    sight = made._quota.sight = Sight(0, 2)
+    made = DecisionEngine(SETTINGS, 1)
+    made.handle(T0, api.EndpointList(api.ListScope.CACHED, tuple(map(server, range(1, 9)))))
+    sight = made._quota.sight = Visibility(0, 2)
     totals: dict[int, float] = {}
     for number in range(2):
         made._quota._chance = 8.0  # a call for each
@@ -320,6 +330,6 @@
     """Its own wait was told, and the core refused again at the time that had been promised."""
     guard = CeilingGuard(lambda now, first, spread: now)
     plan = api.Plan("distributor", rate=1.0, burst=4.0, ceiling_rate=100.0, ceiling_burst=4.0)
-    led = Ledger(plan, request("r", plan="distributor"), SETTINGS, 0.0, 0.0)
+    led = CustomerQuota(plan, request("r", plan="distributor"), SETTINGS, 0.0, 0.0)
     led.quota.tat = led.quota.tolerance + 3000.0  # the store is empty, and three units below nothing
     assert guard.wait(0.0, led, 1.0) >= led.quota.wait(0.0, 1.0) > 3000.0
--- a/tests/decisions/counter_health/test_state_machine.py
+++ b/tests/decisions/counter_health/test_state_machine.py
@@ -13,7 +13,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from badgeryoke.decisions.counter_health import presence_register
-from badgeryoke.decisions.counter_health.detector import HOLD_MS, Belief, Watch
+from badgeryoke.decisions.counter_health.detector import HOLD_MS, CounterHealthDetector, CounterState
 from badgeryoke.decisions.counter_health.error_bound import noticed_ms
 from tests.decisions.counter_health.test_detector import Fleet
 
@@ -75,7 +75,7 @@
     def restart(self, me: int) -> None:
         if self.fleet.sides or self.fleet.deaf or self.forgot:
             return  # the muster may be gone, or half of it: the open case below
-        self.fleet.watches[me] = Watch(me, GATEWAYS, 50.0)
+        self.fleet.watches[me] = CounterHealthDetector(me, GATEWAYS, 50.0)
         self.fleet.seen = [row for row in self.fleet.seen if row[1] != me]
         self.restarted = True
         self.quiet_ms = 0.0
@@ -103,7 +103,7 @@
             return
         self.fleet.deaf, self.fleet.sides = set(), {}
         self.fleet.run(4 * presence_register.ERA_MS + 4 * HOLD_MS)
-        assert set(self.fleet.beliefs()) == {Belief.SOUND}
+        assert set(self.fleet.beliefs()) == {CounterState.SOUND}
         assert all(watch.sight.part(0, GATEWAYS) == 1.0 for watch in self.fleet.watches.values())
 
 
@@ -122,7 +122,7 @@
     KNOWN-RED.txt."""
     fleet = Fleet(GATEWAYS)
     fleet.run(6000.0)
-    fleet.watches[1] = Watch(1, GATEWAYS, 50.0)
+    fleet.watches[1] = CounterHealthDetector(1, GATEWAYS, 50.0)
     fleet.deaf = {0}
     fleet.whole.clear()
     fleet.run(3740.0)
--- a/tests/decisions/test_behaviour_digests.py
+++ b/tests/decisions/test_behaviour_digests.py
@@ -1,6 +1,8 @@
-"""Digests of what the decisions come to, recorded once: a change that only renames or moves must leave them equal.
+"""Digests of what the decisions come to, recorded once: a change that only renames or moves must leave them
+equal.
 
-The golden file is not made anew: a change that is meant to decide otherwise says so, and why, with the new entries.
+The golden file is not made anew: a change that is meant to decide otherwise says so, and why, with the new
+entries.
 """
 
 from __future__ import annotations
@@ -16,17 +18,17 @@
 from badgeryoke.decisions import interface as api
 from badgeryoke.decisions import priority_admission
 from badgeryoke.decisions.counter_health.error_bound import beyond_units, noticed_ms, stated
-from badgeryoke.decisions.counter_health.monitored_policy import Guarded
+from badgeryoke.decisions.counter_health.monitored_policy import MonitoredEngine
 from badgeryoke.decisions.plan_schedule.carry_over import (
-    Figures,
-    Held,
+    BucketLevel,
+    PlanFigures,
     arrival_of,
     carry,
     carry_ceiling,
     carry_quota,
     room_of,
 )
-from badgeryoke.decisions.plan_schedule.schedule import Fault, PlanBook
+from badgeryoke.decisions.plan_schedule.schedule import PlanSchedule, ScheduleError
 from badgeryoke.testbed.checkers.quota_checker import Referee
 from badgeryoke.testbed.cluster_simulation.generated_plans import play_scenario
 from badgeryoke.testbed.scenario.model import Scenario, load, shipped
@@ -44,13 +46,15 @@
 # Settings ---------------------------------------------------------------------------------------------
 
 LOAD = api.Settings(
-    me=0,
-    gateways=3,
+    gateway_index=0,
+    gateway_count=3,
     zone="a",
     tick_ms=4.0,
     classes=(
-        api.RequestClass("look", 400.0, 2000.0, api.Effect.SAFE),
-        api.RequestClass("book", 750.0, 2000.0, api.Effect.KEYED, api.Group.ALL, 1000.0, 2.0),
+        api.RequestClass("look", 400.0, 2000.0, api.Idempotency.IDEMPOTENT),
+        api.RequestClass(
+            "book", 750.0, 2000.0, api.Idempotency.WITH_KEY, api.DeduplicationScope.ALL, 1000.0, 2.0
+        ),
     ),
     plans=(
         api.Plan("small", 1.6, 6.5, 0, 0.8, 0.0, 1.2),
@@ -59,15 +63,15 @@
     ),
     has_counter=True,
     counter_timeout_ms=50.0,
-    max_units=6.0,
+    max_request_units=6.0,
     max_attempts=3,
     can_cancel=True,
     max_retry_after_ms=1000.0,
-    answer_slack_ms=16.0,
-    cold_from=0.3,
-    warm_within_ms=10_000.0,
-    fall_multiple=3.0,
-    fall_window_ms=1500.0,
+    response_slack_ms=16.0,
+    slow_start_fraction=0.3,
+    slow_start_ms=10_000.0,
+    overload_multiple=3.0,
+    overload_window_ms=1500.0,
 )
 LOAD_CHANGED = replace(
     LOAD,
@@ -79,15 +83,21 @@
     ),
 )
 BUILD = api.Settings(
-    me=0,
-    gateways=3,
+    gateway_index=0,
+    gateway_count=3,
     zone="a",
     tick_ms=2.0,
     classes=(
-        api.RequestClass("status", 1500.0, 4000.0, api.Effect.SAFE, worth=3.0, late_share=0.2),
-        api.RequestClass("store", 2000.0, 8000.0, api.Effect.KEYED, api.Group.CELL, 2500.0),
-        api.RequestClass("start", 2500.0, 8000.0, api.Effect.KEYED, api.Group.ZONE, 8000.0, 5.0),
-        api.RequestClass("pay", 900.0, 3000.0, api.Effect.UNSAFE),
+        api.RequestClass(
+            "status", 1500.0, 4000.0, api.Idempotency.IDEMPOTENT, priority_weight=3.0, late_value_fraction=0.2
+        ),
+        api.RequestClass(
+            "store", 2000.0, 8000.0, api.Idempotency.WITH_KEY, api.DeduplicationScope.CELL, 2500.0
+        ),
+        api.RequestClass(
+            "start", 2500.0, 8000.0, api.Idempotency.WITH_KEY, api.DeduplicationScope.ZONE, 8000.0, 5.0
+        ),
+        api.RequestClass("pay", 900.0, 3000.0, api.Idempotency.NOT_IDEMPOTENT),
     ),
     plans=(
         api.Plan("free"),
@@ -98,16 +108,16 @@
     ),
     has_counter=True,
     counter_timeout_ms=80.0,
-    max_units=4.0,
+    max_request_units=4.0,
     max_attempts=5,
     can_cancel=True,
     max_retry_after_ms=2000.0,
     must_subscribe=True,
-    answer_slack_ms=8.0,
-    cold_from=0.25,
-    warm_within_ms=14_000.0,
-    fall_multiple=3.0,
-    fall_window_ms=1000.0,
+    response_slack_ms=8.0,
+    slow_start_fraction=0.25,
+    slow_start_ms=14_000.0,
+    overload_multiple=3.0,
+    overload_window_ms=1000.0,
 )
 BUILD_CHANGED = replace(
     BUILD,
@@ -120,7 +130,7 @@
         api.Plan("network", 30.0, 60.0, 0, 1.4, 0.0, 0.6, 40.0, 70.0, 4.0),
     ),
 )
-ALONE = replace(BUILD, gateways=1, must_subscribe=False)
+ALONE = replace(BUILD, gateway_count=1, must_subscribe=False)
 CAPPED = replace(
     LOAD,
     plans=(
@@ -129,7 +139,9 @@
     ),
 )
 # A full part of the headroom holds three units to the last bit: a request of three just fits.
-EVEN = replace(LOAD, max_units=3.0, plans=(api.Plan("even", 5.0, 10.0, 0, 1.0, 0.0, 0.3, 15.0, 20.0),))
+EVEN = replace(
+    LOAD, max_request_units=3.0, plans=(api.Plan("even", 5.0, 10.0, 0, 1.0, 0.0, 0.3, 15.0, 20.0),)
+)
 SILENT, SOUND = (CounterTrouble.DEAD, CounterTrouble.UNREACHABLE), (CounterTrouble.NONE,)
 
 STREAMS = (
@@ -138,7 +150,7 @@
     Stream(
         "load-busy-forty",
         13,
-        replace(LOAD, gateways=40),
+        replace(LOAD, gateway_count=40),
         servers=24,
         requests_a_second=40.0,
         spread=12,
@@ -147,7 +159,7 @@
     Stream(
         "load-two-hundred",
         14,
-        replace(LOAD, gateways=200),
+        replace(LOAD, gateway_count=200),
         servers=40,
         requests_a_second=12.0,
         spread=40,
@@ -159,7 +171,9 @@
     Stream("load-sound", 18, LOAD, server_trouble=0.0, counter_trouble=SOUND),
     Stream("load-counter-lost", 19, LOAD, counter_trouble=SILENT, requests_a_second=90.0),
     Stream("load-failing", 34, LOAD, server_trouble=0.9),
-    Stream("load-failing-uncancelled", 35, replace(LOAD, can_cancel=False, gateways=12), server_trouble=0.8),
+    Stream(
+        "load-failing-uncancelled", 35, replace(LOAD, can_cancel=False, gateway_count=12), server_trouble=0.8
+    ),
     Stream("load-many-customers", 37, LOAD, customers=400, elsewhere=0.2),
     Stream(
         "load-silent",
@@ -179,9 +193,13 @@
     Stream(
         "build-overload", 25, BUILD, work_ms=500.0, requests_a_second=120.0, server_trouble=0.5, events=10_000
     ),
-    Stream("build-forty", 26, replace(BUILD, gateways=40), BUILD_CHANGED, servers=16, spread=9, cores=6),
+    Stream("build-forty", 26, replace(BUILD, gateway_count=40), BUILD_CHANGED, servers=16, spread=9, cores=6),
     Stream(
-        "build-failing", 36, replace(BUILD, gateways=40), server_trouble=0.8, streamed=frozenset({"start"})
+        "build-failing",
+        36,
+        replace(BUILD, gateway_count=40),
+        server_trouble=0.8,
+        streamed=frozenset({"start"}),
     ),
     Stream(
         "build-silent",
@@ -193,7 +211,9 @@
         server_troubles=(ServerTrouble.SILENT, ServerTrouble.RESETTING),
         spread=1,
     ),
-    Stream("build-few-servers", 27, replace(BUILD, cold_from=0.0), servers=2, requests_a_second=30.0),
+    Stream(
+        "build-few-servers", 27, replace(BUILD, slow_start_fraction=0.0), servers=2, requests_a_second=30.0
+    ),
     Stream("ceilings", 28, CAPPED, customers=8, spread=2, requests_a_second=90.0, elsewhere=2.0),
     Stream("ceilings-slow-servers", 29, CAPPED, customers=6, work_ms=200.0, requests_a_second=90.0),
     Stream("ceilings-even", 30, replace(EVEN, has_counter=False), customers=200, requests_a_second=80.0),
@@ -208,7 +228,7 @@
         requests_a_second=90.0,
         counter_trouble=(CounterTrouble.BUSY, CounterTrouble.SLOW),
     ),
-    Stream("reserved", 41, LOAD, reserved_share=0.3, make=priority_admission.Gateway),
+    Stream("reserved", 41, LOAD, reserved_share=0.3, make=priority_admission.PriorityDecisionEngine),
     Stream(
         "reserved-ceilings",
         42,
@@ -217,7 +237,7 @@
         customers=6,
         requests_a_second=100.0,
         spread=2,
-        make=priority_admission.Gateway,
+        make=priority_admission.PriorityDecisionEngine,
     ),
     Stream(
         "reserved-overload",
@@ -226,7 +246,7 @@
         reserved_share=0.4,
         work_ms=500.0,
         requests_a_second=100.0,
-        make=priority_admission.Gateway,
+        make=priority_admission.PriorityDecisionEngine,
     ),
     Stream(
         "reserved-handover",
@@ -235,12 +255,19 @@
         reserved_share=0.4,
         customers=10,
         handover_at=1500,
-        make=priority_admission.Gateway,
+        make=priority_admission.PriorityDecisionEngine,
     ),
     Stream(
-        "watched", 51, LOAD, modules=3, events=12_000, elsewhere=0.0, requests_a_second=40.0, make=Guarded
+        "watched",
+        51,
+        LOAD,
+        modules=3,
+        events=12_000,
+        elsewhere=0.0,
+        requests_a_second=40.0,
+        make=MonitoredEngine,
     ),
-    Stream("watched-alone", 52, LOAD, LOAD_CHANGED, make=Guarded),
+    Stream("watched-alone", 52, LOAD, LOAD_CHANGED, make=MonitoredEngine),
     Stream(
         "watched-ceilings",
         53,
@@ -249,7 +276,7 @@
         customers=8,
         events=12_000,
         elsewhere=0.0,
-        make=Guarded,
+        make=MonitoredEngine,
         counter_trouble=(CounterTrouble.SPLIT, CounterTrouble.DEAD, CounterTrouble.FORGETFUL),
     ),
     Stream(
@@ -261,19 +288,21 @@
         events=12_000,
         elsewhere=0.0,
         reserved_share=0.3,
-        make=lambda settings, seed: Guarded(settings, seed, priority_admission.Gateway),
+        make=lambda settings, seed: MonitoredEngine(
+            settings, seed, priority_admission.PriorityDecisionEngine
+        ),
         counter_trouble=(CounterTrouble.SPLIT, CounterTrouble.UNREACHABLE, CounterTrouble.SLOW),
     ),
     Stream(
         "watched-forty",
         55,
-        replace(LOAD, gateways=40),
+        replace(LOAD, gateway_count=40),
         modules=8,
         events=12_000,
         requests_a_second=20.0,
         elsewhere=0.0,
         spread=8,
-        make=Guarded,
+        make=MonitoredEngine,
     ),
 )
 
@@ -286,7 +315,8 @@
 
 
 def scenario_digest(name: str) -> Digest:
-    """A scenario with a quarter of its customers: tries, sends, answers and counter calls in order, and its result."""
+    """A scenario with a quarter of its customers: tries, sends, answers and counter calls in order, and
+    its result."""
     text = load(name)[0]
     text = replace(
         text,
@@ -368,14 +398,15 @@
 def fleet_digest(gateways: int, servers: int, pace: float, work_ms: float, dead: int) -> Digest:
     """Several modules on one clock, before servers of which the last so many die and one joins cold."""
     listed = [
-        api.Server(number, "ab"[number % 2], "std", 0, api.State.UP, 1.0, 0.0) for number in range(servers)
+        api.Server(number, "ab"[number % 2], "std", 0, api.EndpointState.UP, 1.0, 0.0)
+        for number in range(servers)
     ]
     fleet = Fleet(gateways, listed, seed=7, work=lambda draw: draw.expovariate(1 / work_ms))
     digest = Digest()
     fleet.run(4.0, pace)
     fleet.dead.update(range(servers - dead, servers))
     fleet.run(4.0, pace)
-    joined = api.Server(servers, "a", "std", 0, api.State.UP, 1.0, fleet.now)
+    joined = api.Server(servers, "a", "std", 0, api.EndpointState.UP, 1.0, fleet.now)
     fleet.tell([*listed[: servers - dead], joined])
     fleet.run(4.0, lambda gateway: pace * (1 + gateway % 3))
     digest.add(fleet.sends)
@@ -387,7 +418,7 @@
     """A book of plans under random announcements, withdrawals and exemptions."""
     draw, digest, now = random.Random(61), Digest(), 1_000_000.0
     names = ("one", "two", "three")
-    book = PlanBook({name: Figures(5.0 * place, 20.0 * place) for place, name in enumerate(names, 1)})
+    book = PlanSchedule({name: PlanFigures(5.0 * place, 20.0 * place) for place, name in enumerate(names, 1)})
     numbers = dict.fromkeys(names, 0)
     for _ in range(3000):
         now += draw.expovariate(1 / 400.0)
@@ -399,25 +430,25 @@
             made = book.announce(
                 now, plan, number, now + draw.choice((500.0, 2000.0, 4000.0, 9000.0, math.inf)), figures
             )
-            if not isinstance(made, Fault):
+            if not isinstance(made, ScheduleError):
                 numbers[plan] = made.number
-            digest.add((step, isinstance(made, Fault) or made))
+            digest.add((step, isinstance(made, ScheduleError) or made))
         elif step == 2:
             number = numbers.get(plan, 0) - draw.randrange(2)
             taken = book.call_off(now, plan, number)
-            if not isinstance(taken, Fault):
+            if not isinstance(taken, ScheduleError):
                 numbers[plan] = taken.number - 1
-            digest.add((step, isinstance(taken, Fault) or taken))
+            digest.add((step, isinstance(taken, ScheduleError) or taken))
         elif step == 3:
             own = book.exempt(now, customer, now + draw.choice((-5.0, 3000.0, 20_000.0, 1e12)), figures)
-            digest.add((step, isinstance(own, Fault) or own))
+            digest.add((step, isinstance(own, ScheduleError) or own))
         else:
             granted, holds = book.figures(now, plan, customer), book.version(now, plan)
             digest.add(
                 (
                     step,
-                    isinstance(granted, Fault) or granted,
-                    isinstance(holds, Fault) or holds,
+                    isinstance(granted, ScheduleError) or granted,
+                    isinstance(holds, ScheduleError) or holds,
                     book.next_change(now),
                     book.waiting(now),
                 )
@@ -425,12 +456,16 @@
     return digest
 
 
-def drawn_figures(draw: random.Random) -> Figures:
+def drawn_figures(draw: random.Random) -> PlanFigures:
     """A plan's figures, now and then ones that are refused."""
     rate = draw.choice((0.0, 1.5, 6.0, 25.0, 25.0))
     burst = draw.choice((0.0, 8.0, 30.0, 30.0))
     return draw.choice(
-        (Figures(rate, burst), Figures(rate, burst, 2 * rate, 2 * burst), Figures(rate, burst, 5.0, 9.0))
+        (
+            PlanFigures(rate, burst),
+            PlanFigures(rate, burst, 2 * rate, 2 * burst),
+            PlanFigures(rate, burst, 5.0, 9.0),
+        )
     )
 
 
@@ -438,8 +473,8 @@
     """Stores that are carried through chains of changes."""
     draw, digest = random.Random(62), Digest()
     for _ in range(300):
-        store = ceiling = Held(draw.uniform(-5.0, 30.0), draw.choice((0.0, 4.0)))
-        old = Figures(6.0, 30.0, 12.0, 60.0)
+        store = ceiling = BucketLevel(draw.uniform(-5.0, 30.0), draw.choice((0.0, 4.0)))
+        old = PlanFigures(6.0, 30.0, 12.0, 60.0)
         for _ in range(6):
             new = drawn_figures(draw)
             store, ceiling = carry_quota(store, old, new), carry_ceiling(ceiling, old, new)
--- a/tests/decisions/test_cost_by_fleet_size.py
+++ b/tests/decisions/test_cost_by_fleet_size.py
@@ -12,9 +12,9 @@
 
 from badgeryoke.decisions import interface as api
 from badgeryoke.decisions.counter_health.ceiling_guard import KEPT_MS, STEP_MS
-from badgeryoke.decisions.counter_health.detector import REACH, Watch
-from badgeryoke.decisions.counter_health.monitored_policy import Guarded
-from badgeryoke.decisions.policy.engine import Gateway
+from badgeryoke.decisions.counter_health.detector import REACH, CounterHealthDetector
+from badgeryoke.decisions.counter_health.monitored_policy import MonitoredEngine
+from badgeryoke.decisions.policy.engine import DecisionEngine
 from tests.support.samples import CAPPED, SETTINGS, START, outcome, server
 
 CUSTOMERS, REQUESTS = 20, 400
@@ -25,9 +25,9 @@
 
     Sends are answered at once; the totals hold the others' use."""
     plan = replace(CAPPED, rate=50.0, burst=100.0, ceiling_rate=120.0, ceiling_burst=220.0)
-    settings = replace(SETTINGS, gateways=gateways, plans=(plan,), counter_timeout_ms=50.0)
-    made: Any = (Guarded if watch else Gateway)(settings, 1)
-    made.handle(START, api.Members(api.Scope.FULL, tuple(server(n) for n in range(1, 9))))
+    settings = replace(SETTINGS, gateway_count=gateways, plans=(plan,), counter_timeout_ms=50.0)
+    made: Any = (MonitoredEngine if watch else DecisionEngine)(settings, 1)
+    made.handle(START, api.EndpointList(api.ListScope.FULL, tuple(server(n) for n in range(1, 9))))
     if watch:  # all are in sight, as in sound times
         made.watch.sight.change(START, False, frozenset(), frozenset(), 0.0)
         made.watch._known.update(dict.fromkeys(range(gateways), True))
@@ -50,11 +50,11 @@
             actions = made.handle(now, event)
             sys.settrace(None)
             for action in actions:
-                if isinstance(action, api.Count):
+                if isinstance(action, api.AddToCounter):
                     calls += 1
                     totals[action.name] = totals.get(action.name, 0.0) + action.units + 0.01 * (gateways - 1)
-                    todo.append(api.Total(action.name, api.Verdict.OK, 2.0, totals[action.name]))
-                elif isinstance(action, api.Send):
+                    todo.append(api.CounterReply(action.name, api.Verdict.OK, 2.0, totals[action.name]))
+                elif isinstance(action, api.SendAttempt):
                     todo.append(outcome(action, api.Verdict.OK, rtt=20.0))
     module = made.module if watch else made
     held = len(module._quota._ledgers) + len(module._jobs) + len(module._quota._calls)
@@ -78,7 +78,7 @@
             seen.append(number)
             return default
 
-    watch = Watch(12, 30, 50.0)
+    watch = CounterHealthDetector(12, 30, 50.0)
     watch._known = Known()
     watch.common_since(START, 0, 30)
     assert len(seen) == len(watch.watched) == 2 * REACH
--- a/tests/decisions/test_fleet_sums.py
+++ b/tests/decisions/test_fleet_sums.py
@@ -9,8 +9,8 @@
 import pytest
 
 from badgeryoke.decisions import interface as api
-from badgeryoke.gateway.actor import Turns
-from badgeryoke.gateway.discovery.client import HostGroup
+from badgeryoke.gateway.actor import ActorScheduler
+from badgeryoke.gateway.discovery.client import DiscoveryClient
 from tests.gateway.test_dispatcher import FakeLoop
 from tests.support.policy_fleet import Fleet
 from tests.support.samples import server
@@ -56,9 +56,9 @@
     """join+vast: 18 servers of 60, new for 4 to 9 s, got 55 of 1,247 sends, and at 200 gateways hardly any: a
     turn was reckoned from all servers, of which one keeps to few, and lost where a warm one was quicker.
     """
-    fleet = Fleet(gateways, SERVERS[:40], fall_multiple=3.0)
+    fleet = Fleet(gateways, SERVERS[:40], overload_multiple=3.0)
     fleet.run(6.0, 480.0 / gateways)
-    fleet.tell([server(n, started=fleet.now) for n in range(41, 61)], api.Scope.CHANGES)
+    fleet.tell([server(n, started=fleet.now) for n in range(41, 61)], api.ListScope.CHANGES)
     born = fleet.now
     fleet.run(8.0, 480.0 / gateways)
     late = [to for at, _, to in fleet.sends if at > born + 2000]
@@ -74,8 +74,13 @@
     """When all gateways ask discovery again, which has turned all of them away at 0 and goes on doing so."""
     calls = []
     for n in range(gateways):
-        group = HostGroup(
-            ("127.0.0.1", 1), None, Turns(FakeLoop()), lambda *_: None, gateways, random.Random(n).random
+        group = DiscoveryClient(
+            ("127.0.0.1", 1),
+            None,
+            ActorScheduler(FakeLoop()),
+            lambda *_: None,
+            gateways,
+            random.Random(n).random,
         )
         at, own = 0.0, []
         while (at := at + group.pause()) < seconds:
@@ -94,7 +99,9 @@
 
 
 def test_one_answer_does_not_undo_the_back_off() -> None:
-    group = HostGroup(("127.0.0.1", 1), None, Turns(FakeLoop()), lambda *_: None, 40, lambda: 0.5)
+    group = DiscoveryClient(
+        ("127.0.0.1", 1), None, ActorScheduler(FakeLoop()), lambda *_: None, 40, lambda: 0.5
+    )
     before = [group.pause() for _ in range(12)]
     group.answered()
     assert before[0] == 0.02 and before[-1] == group.longest == 2.0 and group.pause() == 1.0
--- a/tests/decisions/test_golden_simulator_wire.py
+++ b/tests/decisions/test_golden_simulator_wire.py
@@ -1,4 +1,5 @@
-"""The simulator's text wire: a golden conversation of all kinds of lines, and the exact bytes that answer it."""
+"""The simulator's text wire: a golden conversation of all kinds of lines, and the exact bytes that answer
+it."""
 
 from __future__ import annotations
 
@@ -187,15 +188,15 @@
 # Single lines -----------------------------------------------------------------------------------------
 
 ACTIONS: tuple[api.Action, ...] = (
-    api.Send("r1", 11, 812.34567),
-    api.Cancel("r1", 2),
-    api.Refuse("r2"),
-    api.Refuse("r2", 20.0, "of a lease"),
+    api.SendAttempt("r1", 11, 812.34567),
+    api.CancelAttempt("r1", 2),
+    api.Reject("r2"),
+    api.Reject("r2", 20.0, "of a lease"),
     api.Fail("r3"),
-    api.Count(9_223_372_036_854_775_807, 1.23456789, 2500.0),
-    api.Count(7, 0.0, 1.0),
-    api.Probe(22),
-    api.Wake(9000.5, 3),
+    api.AddToCounter(9_223_372_036_854_775_807, 1.23456789, 2500.0),
+    api.AddToCounter(7, 0.0, 1.0),
+    api.CheckHealth(22),
+    api.SetTimer(9000.5, 3),
     api.Subscribe(),
     api.Log("two\nlines  and\tmore"),
 )
--- a/tests/decisions/test_priority_admission.py
+++ b/tests/decisions/test_priority_admission.py
@@ -10,16 +10,16 @@
 
 import pytest
 
-from badgeryoke.cluster.node import Node
-from badgeryoke.cluster.reservations.lease_client import Reserved
+from badgeryoke.cluster.node import ClusterNode
+from badgeryoke.cluster.reservations.lease_client import ReservedUnits
 from badgeryoke.decisions import interface as api
 from badgeryoke.decisions import priority_admission
-from badgeryoke.decisions.counter_health.monitored_policy import Guarded
+from badgeryoke.decisions.counter_health.monitored_policy import MonitoredEngine
 from badgeryoke.decisions.policy import engine
-from badgeryoke.gateway.actor import Turns
-from badgeryoke.gateway.attempt import Query
-from badgeryoke.gateway.cluster.service import Service
-from badgeryoke.gateway.dispatcher import Core, Refused, Served
+from badgeryoke.gateway.actor import ActorScheduler
+from badgeryoke.gateway.attempt import Request
+from badgeryoke.gateway.cluster.service import ClusterService
+from badgeryoke.gateway.dispatcher import Dispatcher, Rejected, Served
 from tests.gateway.cluster.test_service import section
 from tests.gateway.test_dispatcher import AIM, Bench, NoCounter
 from tests.gateway.test_service import until
@@ -27,44 +27,44 @@
 from tests.support.samples import START, only
 
 
-def module(servers: int = 4, **changes: object) -> priority_admission.Gateway:
-    made = priority_admission.Gateway(replace(samples.SETTINGS, **changes), 1)  # type: ignore[arg-type]
+def module(servers: int = 4, **changes: object) -> priority_admission.PriorityDecisionEngine:
+    made = priority_admission.PriorityDecisionEngine(replace(samples.SETTINGS, **changes), 1)  # type: ignore[arg-type]
     listed = tuple(samples.server(number) for number in range(1, servers + 1))
-    made.handle(START, api.Members(api.Scope.WARM_COPY, listed))
+    made.handle(START, api.EndpointList(api.ListScope.CACHED, listed))
     return made
 
 
 def drawn(rid: str, rank: int = 1, **more: object) -> api.Request:
-    return replace(samples.request(rid, **more), reserved=rank)  # type: ignore[arg-type]
+    return replace(samples.request(rid, **more), reservation_rank=rank)  # type: ignore[arg-type]
 
 
 def test_with_the_quota_used_up_only_what_is_reserved_is_sent() -> None:
-    made = module(has_counter=False, gateways=1)
+    made = module(has_counter=False, gateway_count=1)
     asked = [made.handle(START, samples.request(f"o{n}", spread=1)) for n in range(8)]
-    assert sum(len(only(one, api.Send)) for one in asked) == 4  # the burst
+    assert sum(len(only(one, api.SendAttempt)) for one in asked) == 4  # the burst
     for n in range(8):
-        assert only(made.handle(START + 1.0, drawn(f"r{n}", spread=1)), api.Send)
-    assert only(made.handle(START + 2.0, samples.request("late", spread=1)), api.Refuse)
+        assert only(made.handle(START + 1.0, drawn(f"r{n}", spread=1)), api.SendAttempt)
+    assert only(made.handle(START + 2.0, samples.request("late", spread=1)), api.Reject)
     # It took nothing of the quota: that fills as if nothing had been sent beside it.
-    assert only(made.handle(START + 1010.0, samples.request("filled", spread=1)), api.Send)
+    assert only(made.handle(START + 1010.0, samples.request("filled", spread=1)), api.SendAttempt)
 
 
 def test_an_open_limit_counts_no_reserved_attempt_and_holds_none() -> None:
-    plan = api.Plan("plain", rate=100.0, burst=100.0, open_limit=1)
-    made = module(has_counter=False, gateways=1, plans=(plan,))
-    assert all(only(made.handle(START, drawn(f"r{n}", spread=1)), api.Send) for n in range(3))
-    assert only(made.handle(START, samples.request("a", spread=1)), api.Send)
-    assert only(made.handle(START, samples.request("b", spread=1)), api.Refuse)
-    assert only(made.handle(START, drawn("r", spread=1)), api.Send)
+    plan = api.Plan("plain", rate=100.0, burst=100.0, concurrency_limit=1)
+    made = module(has_counter=False, gateway_count=1, plans=(plan,))
+    assert all(only(made.handle(START, drawn(f"r{n}", spread=1)), api.SendAttempt) for n in range(3))
+    assert only(made.handle(START, samples.request("a", spread=1)), api.SendAttempt)
+    assert only(made.handle(START, samples.request("b", spread=1)), api.Reject)
+    assert only(made.handle(START, drawn("r", spread=1)), api.SendAttempt)
 
 
-def full(made: priority_admission.Gateway, slow: bool) -> int:
+def full(made: priority_admission.PriorityDecisionEngine, slow: bool) -> int:
     """Fill all places with reserved requests; gives how many went."""
     if slow:
         made._fleet._latency = 1.0
     sent = 0
     while (
-        only(made.handle(START + 5.0, drawn(f"f{sent}", spread=1, customer=50 + sent)), api.Send)
+        only(made.handle(START + 5.0, drawn(f"f{sent}", spread=1, customer=50 + sent)), api.SendAttempt)
         and sent < 1000
     ):
         sent += 1
@@ -73,38 +73,38 @@
 
 def test_places_that_are_short_go_to_what_is_reserved_first() -> None:
     plenty = api.Plan("plain", rate=1000.0, burst=1000.0)
-    made = module(1, has_counter=False, gateways=1, plans=(plenty,))
-    sent = [only(made.handle(START, samples.request(f"o{n}", spread=1)), api.Send) for n in range(40)]
+    made = module(1, has_counter=False, gateway_count=1, plans=(plenty,))
+    sent = [only(made.handle(START, samples.request(f"o{n}", spread=1)), api.SendAttempt) for n in range(40)]
     out = sum(map(len, sent))
     assert 5 <= out <= 8  # the limit of attempts out
-    assert all(only(made.handle(START, drawn(f"r{n}", spread=1)), api.Send) for n in range(5))
+    assert all(only(made.handle(START, drawn(f"r{n}", spread=1)), api.SendAttempt) for n in range(5))
     for n in range(2):  # two places are free again, and not for these
-        made.handle(START + 1.0, api.Outcome(f"o{n}", 0, 1, api.Verdict.OK, 1.0, True))
-        assert only(made.handle(START + 1.0, samples.request(f"again{n}", spread=1)), api.Refuse)
+        made.handle(START + 1.0, api.AttemptOutcome(f"o{n}", 0, 1, api.Verdict.OK, 1.0, True))
+        assert only(made.handle(START + 1.0, samples.request(f"again{n}", spread=1)), api.Reject)
 
 
 def test_of_what_is_reserved_the_lower_class_goes_first_and_where_nothing_bears_it_all_goes() -> None:
-    made = module(1, has_counter=False, gateways=1)
+    made = module(1, has_counter=False, gateway_count=1)
     sent = full(made, slow=True)
     assert sent == int(engine.LIMIT_START * (1 + priority_admission.OVER)) + 4  # and the spare
-    [refused] = only(made.handle(START + 6.0, drawn("r", spread=1)), api.Refuse)
+    [refused] = only(made.handle(START + 6.0, drawn("r", spread=1)), api.Reject)
     assert refused.cause == priority_admission.LOAD
     for out, goes in ((2.6, True), (1.4, True), (3.9, False)):
         made._fleet._out = int(out * (engine.LIMIT_START + engine.LIMIT_SPARE))
         second = made.handle(START + 7.0, drawn(f"s{out}", rank=2, spread=1))
         first = made.handle(START + 7.0, drawn(f"t{out}", rank=1, spread=1))
-        assert only(first, api.Send) and bool(only(second, api.Send)) is (goes and out < 2.5)
+        assert only(first, api.SendAttempt) and bool(only(second, api.SendAttempt)) is (goes and out < 2.5)
 
 
 def test_a_reserved_request_is_tried_elsewhere_without_the_budget_of_all_others() -> None:
-    made = module(has_counter=False, gateways=1)
+    made = module(has_counter=False, gateway_count=1)
     made._retries = 0.0
-    [first] = only(made.handle(START, drawn("r", spread=1)), api.Send)
-    [second] = only(made.handle(START + 1.0, samples.outcome(first, api.Verdict.FULL)), api.Send)
+    [first] = only(made.handle(START, drawn("r", spread=1)), api.SendAttempt)
+    [second] = only(made.handle(START + 1.0, samples.outcome(first, api.Verdict.QUEUE_FULL)), api.SendAttempt)
     assert second.server != first.server and made._retries < 1
-    [plain] = only(made.handle(START, samples.request("o", spread=1)), api.Send)
+    [plain] = only(made.handle(START, samples.request("o", spread=1)), api.SendAttempt)
     made._retries = 0.0
-    assert only(made.handle(START + 1.0, samples.outcome(plain, api.Verdict.FULL)), api.Refuse)
+    assert only(made.handle(START + 1.0, samples.outcome(plain, api.Verdict.QUEUE_FULL)), api.Reject)
 
 
 SECONDS = 15
@@ -116,23 +116,25 @@
     """Three gateways and one customer under a ceiling, with so many reserved requests and others a second:
     the lowest level of the ceiling's store, and what was asked and sent of each."""
     plan, rng, step = samples.CAPPED, random.Random(5), 10.0
-    made: list[Guarded | priority_admission.Gateway] = []
+    made: list[MonitoredEngine | priority_admission.PriorityDecisionEngine] = []
     for me in range(3):
-        settings = replace(samples.SETTINGS, me=me, gateways=3)
+        settings = replace(samples.SETTINGS, gateway_index=me, gateway_count=3)
         one = (
-            Guarded(settings, me, priority_admission.Gateway)
+            MonitoredEngine(settings, me, priority_admission.PriorityDecisionEngine)
             if watched
-            else priority_admission.Gateway(settings, me)
+            else priority_admission.PriorityDecisionEngine(settings, me)
+        )
+        one.handle(
+            START, api.EndpointList(api.ListScope.CACHED, tuple(samples.server(n) for n in range(1, 9)))
         )
-        one.handle(START, api.Members(api.Scope.WARM_COPY, tuple(samples.server(n) for n in range(1, 9))))
         made.append(one)
     totals: dict[int, float] = {}
-    wakes: list[tuple[float, Guarded | priority_admission.Gateway, api.Event]] = []
+    wakes: list[tuple[float, MonitoredEngine | priority_admission.PriorityDecisionEngine, api.Event]] = []
     level, lowest, asked, sent = plan.ceiling_burst, 0.0, {True: 0, False: 0}, {True: 0, False: 0}
     for tick in range(SECONDS * 100):
         now = START + tick * step
         level = min(level + plan.ceiling_rate * step / 1000.0, plan.ceiling_burst)
-        todo: list[tuple[Guarded | priority_admission.Gateway, api.Event]] = [
+        todo: list[tuple[MonitoredEngine | priority_admission.PriorityDecisionEngine, api.Event]] = [
             (one, due) for at, one, due in wakes if at <= now
         ]
         wakes = [wake for wake in wakes if wake[0] > now]
@@ -140,23 +142,25 @@
             for index in range(3):
                 if rng.random() < rate / 3 * step / 1000.0:
                     made_up = samples.request(f"{index}.{tick}.{kind}", plan="capped", spread=3)
-                    todo.append((made[index if even else 0], replace(made_up, reserved=int(kind))))
+                    todo.append((made[index if even else 0], replace(made_up, reservation_rank=int(kind))))
                     asked[kind] += 1
         while todo:
             one, event = todo.pop(0)
             for action in one.handle(now, event):
-                if isinstance(action, api.Send):
+                if isinstance(action, api.SendAttempt):
                     level -= 1.0
                     lowest = min(lowest, level)
                     sent[action.id.endswith("True")] += 1
                     todo.append((one, samples.outcome(action, api.Verdict.OK, rtt=5.0)))
-                elif isinstance(action, api.Count) and counted:
+                elif isinstance(action, api.AddToCounter) and counted:
                     totals[action.name] = totals.get(action.name, 0.0) + action.units
-                    todo.append((one, api.Total(action.name, api.Verdict.OK, 1.0, totals[action.name])))
-                elif isinstance(action, api.Count):
-                    todo.append((one, api.Total(action.name, api.Verdict.CONNECT_FAILED, 1.0)))
-                elif isinstance(action, api.Wake):
-                    wakes.append((action.at_ms, one, api.Due(action.token)))
+                    todo.append(
+                        (one, api.CounterReply(action.name, api.Verdict.OK, 1.0, totals[action.name]))
+                    )
+                elif isinstance(action, api.AddToCounter):
+                    todo.append((one, api.CounterReply(action.name, api.Verdict.CONNECT_FAILED, 1.0)))
+                elif isinstance(action, api.SetTimer):
+                    wakes.append((action.at_ms, one, api.TimerFired(action.token)))
     return lowest, asked, sent
 
 
@@ -179,16 +183,16 @@
 
 def test_a_refusal_for_the_ceiling_says_so() -> None:
     made = module(plans=(replace(samples.CAPPED, ceiling_rate=5.0, ceiling_burst=5.0, ceiling_slack=0.0),))
-    counts = only(made.handle(START, drawn("r", plan="capped")), api.Count)
-    [refused] = only(samples.answer(made, START + 2.0, counts, {counts[0].name: 50.0}), api.Refuse)
+    counts = only(made.handle(START, drawn("r", plan="capped")), api.AddToCounter)
+    [refused] = only(samples.answer(made, START + 2.0, counts, {counts[0].name: 50.0}), api.Reject)
     assert refused.cause == priority_admission.CEILING
 
 
-def play(made: engine.Gateway) -> list[tuple[api.Action, ...]]:
+def play(made: engine.DecisionEngine) -> list[tuple[api.Action, ...]]:
     rng, out, now = random.Random(3), [], START
     waiting: list[tuple[float, int, api.Event]] = []
     totals: dict[int, float] = {}
-    made.handle(now, api.Members(api.Scope.WARM_COPY, tuple(samples.server(n) for n in range(1, 5))))
+    made.handle(now, api.EndpointList(api.ListScope.CACHED, tuple(samples.server(n) for n in range(1, 5))))
     for number in range(3000):
         now += rng.expovariate(0.2)
         plan = rng.choice(["plain", "capped"])
@@ -200,29 +204,33 @@
             out.append(tuple(actions))
             for action in actions:
                 later = now + rng.uniform(1.0, 400.0)
-                if isinstance(action, api.Send):
-                    verdict = rng.choice([api.Verdict.OK] * 8 + [api.Verdict.FULL, api.Verdict.TIMEOUT])
+                if isinstance(action, api.SendAttempt):
+                    verdict = rng.choice([api.Verdict.OK] * 8 + [api.Verdict.QUEUE_FULL, api.Verdict.TIMEOUT])
                     waiting.append((later, number, samples.outcome(action, verdict, rtt=later - now)))
-                elif isinstance(action, api.Count):
+                elif isinstance(action, api.AddToCounter):
                     totals[action.name] = totals.get(action.name, 0.0) + action.units
                     waiting.append(
-                        (now + 2.0, number, api.Total(action.name, api.Verdict.OK, 2.0, totals[action.name]))
+                        (
+                            now + 2.0,
+                            number,
+                            api.CounterReply(action.name, api.Verdict.OK, 2.0, totals[action.name]),
+                        )
                     )
-                elif isinstance(action, api.Wake):
-                    waiting.append((action.at_ms, number, api.Due(action.token)))
+                elif isinstance(action, api.SetTimer):
+                    waiting.append((action.at_ms, number, api.TimerFired(action.token)))
     return out
 
 
 def test_where_nothing_is_reserved_every_action_is_as_without() -> None:
     plain, other = (
-        play(engine.Gateway(samples.SETTINGS, 9)),
-        play(priority_admission.Gateway(samples.SETTINGS, 9)),
+        play(engine.DecisionEngine(samples.SETTINGS, 9)),
+        play(priority_admission.PriorityDecisionEngine(samples.SETTINGS, 9)),
     )
     assert plain == other and {type(action) for one in plain for action in one} >= {
-        api.Send,
-        api.Refuse,
-        api.Count,
-        api.Wake,
+        api.SendAttempt,
+        api.Reject,
+        api.AddToCounter,
+        api.SetTimer,
     }
 
 
@@ -235,26 +243,26 @@
         self.short: list[tuple[str, float]] = []
         self.broken, self.stakes = False, {"peak": None}
 
-    def take(self, now: float, customer: int, units: float) -> Reserved | None:
+    def take(self, now: float, customer: int, units: float) -> ReservedUnits | None:
         if self.broken:
             raise ValueError("planted")
         if customer != 5 or self.room < units:
             return None
         self.room -= units
-        return Reserved("peak", units, 1)
+        return ReservedUnits("peak", units, 1)
 
     def wait(self, now: float, customer: int, units: float, token: Any) -> bool:
         if customer == 5 and not self.broken:
             self.waiting.append((token, units))
         return customer == 5 and not self.broken
 
-    def turns(self, now: float) -> list[tuple[Any, Reserved | None]]:
+    def turns(self, now: float) -> list[tuple[Any, ReservedUnits | None]]:
         if not self.due:
             return []
         held, self.waiting = self.waiting, []
         return [(token, self.take(now, 5, units)) for token, units in held]
 
-    def failed(self, now: float, one: Reserved, cause: str) -> None:
+    def failed(self, now: float, one: ReservedUnits, cause: str) -> None:
         self.short.append((cause, one.units))
 
 
@@ -264,11 +272,17 @@
     def __init__(self, room: float = 0.0) -> None:
         super().__init__()
         plan = api.Plan("free", rate=0.001, burst=1.0)
-        made = replace(samples.SETTINGS, has_counter=False, gateways=1, classes=(AIM,), plans=(plan,))
-        self.core = Core(
-            made, 1, Turns(self.loop), self.loop.clock, lambda _: self.link, NoCounter(), reserves=True
+        made = replace(samples.SETTINGS, has_counter=False, gateway_count=1, classes=(AIM,), plans=(plan,))
+        self.core = Dispatcher(
+            made,
+            1,
+            ActorScheduler(self.loop),
+            self.loop.clock,
+            lambda _: self.link,
+            NoCounter(),
+            reserves=True,
         )
-        self.core.members(api.Members(api.Scope.FULL, (samples.server(1),)))
+        self.core.members(api.EndpointList(api.ListScope.FULL, (samples.server(1),)))
         self.stakes = StandIn(room)
         self.core.guarantee(self.stakes, lambda: self.loop.time() * 1000.0)
         self.ask()  # the burst; drawn, if there is room
@@ -306,7 +320,7 @@
 def test_a_query_waits_only_while_it_leaves_the_time_to_serve_it() -> None:
     bench = Guaranteed()
     bench.ask(d=400.0)
-    assert not bench.stakes.waiting and isinstance(bench.answers[-1], Refused)
+    assert not bench.stakes.waiting and isinstance(bench.answers[-1], Rejected)
 
 
 def test_what_was_drawn_and_not_served_is_counted_by_its_cause_and_answered_once() -> None:
@@ -319,7 +333,7 @@
     bench.loop.run(3.0)
     bench.ask()()  # its client leaves
     bench.loop.run(3.0)
-    assert [type(one) for one in bench.answers] == [Served, Refused, Refused]
+    assert [type(one) for one in bench.answers] == [Served, Rejected, Rejected]
     assert bench.stakes.short == [("load", 1.0), ("server", 1.0)]
 
 
@@ -331,28 +345,33 @@
     bench.stakes.due, bench.stakes.room = True, 1.0
     bench.loop.run(1.0)
     assert len(bench.answers) == 1 and bench.core.unanswered == 0
-    assert isinstance(bench.core._module, priority_admission.Gateway) and not bench.core._module._jobs
+    assert (
+        isinstance(bench.core._module, priority_admission.PriorityDecisionEngine)
+        and not bench.core._module._jobs
+    )
     bench.stakes.broken = True
     bench.ask()
-    assert len(bench.answers) == 2 and isinstance(bench.answers[-1], Refused)
+    assert len(bench.answers) == 2 and isinstance(bench.answers[-1], Rejected)
 
 
 def test_without_contracts_nothing_of_the_fleet_is_asked() -> None:
     bench = Bench()
-    assert bench.core._guarantee is None and type(bench.core._module) is engine.Gateway
-    bench.core.submit(Query("x", "balance-check", "free", 5, 2000.0, 1.0, 1), bench.answers.append)
+    assert bench.core._guarantee is None and type(bench.core._module) is engine.DecisionEngine
+    bench.core.submit(Request("x", "balance-check", "free", 5, 2000.0, 1.0, 1), bench.answers.append)
     bench.loop.run()
     assert bench.link.executions
 
 
 def test_the_fleets_part_hands_its_stakes_to_the_core(tmp_path: Path) -> None:
     async def test() -> None:
-        made, told = Service(section(tmp_path), "a"), list[Any]()
+        made, told = ClusterService(section(tmp_path), "a"), list[Any]()
         made.on_floor = lambda floor, now: told.extend((floor, now))
         made.start()
         await until(lambda: bool(told))
         assert (
-            isinstance(made.node, Node) and told == [made.floor, made.now] and made.floor in made.node.holders
+            isinstance(made.node, ClusterNode)
+            and told == [made.floor, made.now]
+            and made.floor in made.node.holders
         )
         made.close()
 
--- a/tests/decisions/test_rules.py
+++ b/tests/decisions/test_rules.py
@@ -8,25 +8,25 @@
 import pytest
 
 from badgeryoke.decisions import interface as api
-from badgeryoke.decisions.policy.engine import Gateway
+from badgeryoke.decisions.policy.engine import DecisionEngine
 from tests.support.samples import SETTINGS, START, admit, gateway, only, outcome, request, server
 
 FREE = api.Plan("plain")  # a plan without a quota, for tests that are not about quotas
 
 
-def free(**changes: Any) -> Gateway:
+def free(**changes: Any) -> DecisionEngine:
     return gateway(plans=(FREE,), **changes)
 
 
-def sends(made: Gateway, now: float, event: api.Event) -> list[api.Send]:
-    return only(made.handle(now, event), api.Send)
+def sends(made: DecisionEngine, now: float, event: api.Event) -> list[api.SendAttempt]:
+    return only(made.handle(now, event), api.SendAttempt)
 
 
 def test_a_good_answer_ends_a_request_and_nothing_follows() -> None:
     made = free()
     [send] = sends(made, START, request("r0"))
     assert made.handle(START + 50, outcome(send, api.Verdict.OK)) == []
-    assert made.handle(START + 60, api.Left("r0")) == []
+    assert made.handle(START + 60, api.ClientDisconnected("r0")) == []
     assert made.handle(START + 60, outcome(send, api.Verdict.TIMEOUT, ended=True)) == []
 
 
@@ -44,16 +44,22 @@
 
 def test_a_client_that_left_while_held_for_the_counter_is_not_sent() -> None:
     made = gateway()
-    counts = only(made.handle(START, request("r0")), api.Count)
-    made.handle(START + 1, api.Left("r0"))
+    counts = only(made.handle(START, request("r0")), api.AddToCounter)
+    made.handle(START + 1, api.ClientDisconnected("r0"))
     for count in counts:
-        assert only(made.handle(START + 2, api.Total(count.name, api.Verdict.OK, 2.0, 1.0)), api.Send) == []
+        assert (
+            only(
+                made.handle(START + 2, api.CounterReply(count.name, api.Verdict.OK, 2.0, 1.0)),
+                api.SendAttempt,
+            )
+            == []
+        )
 
 
 def test_unsafe_goes_again_only_when_it_never_ran() -> None:
     made = free()
     [send] = sends(made, START, request("r0", cls="pay"))
-    [again] = sends(made, START + 5, outcome(send, api.Verdict.FULL))
+    [again] = sends(made, START + 5, outcome(send, api.Verdict.QUEUE_FULL))
     assert again.server != send.server
     assert made.handle(START + 9, outcome(again, api.Verdict.RESET, 1)) == [api.Fail("r0")]
 
@@ -70,7 +76,7 @@
 
 
 def test_keyed_is_not_sent_again_after_its_window() -> None:
-    made = free(classes=(replace(SETTINGS.classes[1], aim_ms=9000.0, deadline_ms=9000.0),))
+    made = free(classes=(replace(SETTINGS.classes[1], latency_objective_ms=9000.0, deadline_ms=9000.0),))
     [send] = sends(made, START, request("r0", cls="write", remaining=9000.0))
     late = made.handle(START + 3001, outcome(send, api.Verdict.RESET, rtt=3001.0))
     assert late == [api.Fail("r0")]
@@ -83,33 +89,33 @@
     cls: str, given_up: bool
 ) -> None:
     short = replace(
-        SETTINGS.classes[1], name="short", window_ms=50.0
+        SETTINGS.classes[1], name="short", deduplication_window_ms=50.0
     )  # it is over before silence can be told
     made = gateway(has_counter=False, classes=(*SETTINGS.classes, short))
     actions = made.handle(START, request("a", cls))
-    [wake] = only(actions, api.Wake)
+    [wake] = only(actions, api.SetTimer)
     assert wake.at_ms < START + 4000.0
-    assert bool(only(made.handle(wake.at_ms, api.Due(wake.token)), api.Cancel)) is given_up
+    assert bool(only(made.handle(wake.at_ms, api.TimerFired(wake.token)), api.CancelAttempt)) is given_up
 
 
-@pytest.mark.parametrize("state", [api.State.DRAINING, api.State.GONE])
-def test_no_send_after_word_of_a_drain(state: api.State) -> None:
+@pytest.mark.parametrize("state", [api.EndpointState.DRAINING, api.EndpointState.GONE])
+def test_no_send_after_word_of_a_drain(state: api.EndpointState) -> None:
     made = free(servers=[server(1), server(2)])
-    made.handle(START, api.Members(api.Scope.CHANGES, (server(1, state=state),)))
+    made.handle(START, api.EndpointList(api.ListScope.CHANGES, (server(1, state=state),)))
     for number in range(20):
         assert all(s.server == 2 for s in sends(made, START + 1, request(f"r{number}")))
 
 
 def test_a_server_missing_from_a_full_list_has_gone() -> None:
     made = free(servers=[server(1), server(2)])
-    made.handle(START, api.Members(api.Scope.FULL, (server(2),)))
+    made.handle(START, api.EndpointList(api.ListScope.FULL, (server(2),)))
     assert [s.server for s in sends(made, START, request("r0"))] == [2]
 
 
 def test_cold_servers_get_no_burst_at_the_gateways_own_start() -> None:
     got = 0
     for seed in range(200):
-        made = free(servers=[server(1, started=START - 100)], gateways=200, seed=seed)
+        made = free(servers=[server(1, started=START - 100)], gateway_count=200, seed=seed)
         got += len(sends(made, START + 1, request("r0")))
     assert got <= 2
 
@@ -118,7 +124,7 @@
     """Hundreds of gateways that each know a little must not all choose the server that looks best."""
     counts = {number: 0 for number in range(1, 5)}
     for seed in range(400):
-        made = free(gateways=300, seed=seed)
+        made = free(gateway_count=300, seed=seed)
         for number in range(2):
             now = START + number * 900.0
             for send in sends(made, now, request(f"r{number}")):
@@ -129,7 +135,7 @@
 
 def test_the_brake_holds_over_all_servers() -> None:
     """A limit for each server comes to hundreds over all gateways: slow answers close the gateway's own."""
-    made = free(servers=[server(n) for n in range(1, 41)], gateways=300)
+    made = free(servers=[server(n) for n in range(1, 41)], gateway_count=300)
     now, got = START, 0
     for number in range(200):
         now += 100.0
@@ -146,16 +152,17 @@
     for number in range(400):
         now += 25.0
         actions = made.handle(now, request(f"r{number}"))
-        wakes = only(actions, api.Wake)
-        for send in only(actions, api.Send):
+        wakes = only(actions, api.SetTimer)
+        for send in only(actions, api.SendAttempt):
             lost[send.server] += 1
             if send.server == 2:
                 made.handle(now, outcome(send, api.Verdict.OK, rtt=40.0))
             elif wakes:
-                for action in made.handle(now + 1000, api.Due(wakes[0].token)):
-                    assert isinstance(action, api.Cancel)
+                for action in made.handle(now + 1000, api.TimerFired(wakes[0].token)):
+                    assert isinstance(action, api.CancelAttempt)
                     for more in only(
-                        made.handle(now + 1000, outcome(send, api.Verdict.CANCELLED, rtt=1000.0)), api.Send
+                        made.handle(now + 1000, outcome(send, api.Verdict.CANCELLED, rtt=1000.0)),
+                        api.SendAttempt,
                     ):
                         made.handle(now + 1000, outcome(more, api.Verdict.OK, 1, rtt=40.0))
     assert lost[1] <= 12 and lost[2] >= 380
@@ -164,10 +171,10 @@
 def test_a_slow_server_that_answers_is_not_taken_for_silent() -> None:
     made = free(servers=[server(1)])
     actions = made.handle(START, request("r0"))
-    [wake] = only(actions, api.Wake)
+    [wake] = only(actions, api.SetTimer)
     [other] = sends(made, START + 100, request("r1"))
     made.handle(wake.at_ms - 10, outcome(other, api.Verdict.OK, rtt=300.0))
-    assert only(made.handle(wake.at_ms, api.Due(wake.token)), api.Cancel) == []
+    assert only(made.handle(wake.at_ms, api.TimerFired(wake.token)), api.CancelAttempt) == []
 
 
 def test_a_full_server_is_no_magnet() -> None:
@@ -179,7 +186,7 @@
         for send in sends(made, now, request(f"r{number}")):
             if send.server == 1:
                 tried += 1
-                for more in sends(made, now, outcome(send, api.Verdict.FULL, rtt=1.0)):
+                for more in sends(made, now, outcome(send, api.Verdict.QUEUE_FULL, rtt=1.0)):
                     made.handle(now, outcome(more, api.Verdict.OK, 1, rtt=100.0))
             else:
                 made.handle(now, outcome(send, api.Verdict.OK, rtt=100.0))
@@ -221,15 +228,15 @@
 
 def test_no_known_server_means_a_refusal() -> None:
     made = free(servers=[])
-    assert only(made.handle(START, request("r0")), api.Refuse)
+    assert only(made.handle(START, request("r0")), api.Reject)
 
 
 def test_stale_timers_and_unknown_ids_do_nothing() -> None:
     made = free()
-    assert made.handle(START, api.Due(99)) == []
-    assert made.handle(START, api.Left("zz")) == []
-    assert made.handle(START, api.Total(5, api.Verdict.OK, 1.0, 3.0)) == []
-    assert made.handle(START, api.Outcome("zz", 0, 77, api.Verdict.OK, 1.0, True)) == []
+    assert made.handle(START, api.TimerFired(99)) == []
+    assert made.handle(START, api.ClientDisconnected("zz")) == []
+    assert made.handle(START, api.CounterReply(5, api.Verdict.OK, 1.0, 3.0)) == []
+    assert made.handle(START, api.AttemptOutcome("zz", 0, 77, api.Verdict.OK, 1.0, True)) == []
 
 
 def test_an_unknown_class_is_named() -> None:
@@ -237,7 +244,9 @@
         free().handle(START, request("r0", cls="video"))
 
 
-@pytest.mark.parametrize(("key", "value"), [("gateways", 0), ("max_attempts", 0), ("cold_from", -1.0)])
+@pytest.mark.parametrize(
+    ("key", "value"), [("gateway_count", 0), ("max_attempts", 0), ("slow_start_fraction", -1.0)]
+)
 def test_impossible_settings_are_named(key: str, value: float) -> None:
     with pytest.raises(ValueError, match=key):
         replace(SETTINGS, **{key: value})  # type: ignore[arg-type]
@@ -257,12 +266,12 @@
             now = START + number * 37.0
             actions = admit(made, now, request(f"r{number}", customer=number % 11), totals)
             out += actions
-            for send in only(actions, api.Send):
+            for send in only(actions, api.SendAttempt):
                 out += made.handle(now + 20, outcome(send, api.Verdict.OK, rtt=20.0))
         return out
 
     first = run()
-    assert len(only(first, api.Send)) > 50
+    assert len(only(first, api.SendAttempt)) > 50
     assert first == run()
 
 
@@ -280,7 +289,7 @@
 
 @pytest.mark.parametrize("over_worth", [0.0, 0.2, 5.0])
 def test_what_is_beyond_the_quota_is_refused_whatever_it_would_earn(over_worth: float) -> None:
-    plan = api.Plan("plain", rate=1.0, burst=2.0, over_worth=over_worth, over_cost=0.0)
+    plan = api.Plan("plain", rate=1.0, burst=2.0, over_quota_value=over_worth, over_quota_cost=0.0)
     made = gateway(plans=(plan,), has_counter=False)
     sent = sum(len(sends(made, START + n, request(f"r{n}"))) for n in range(20))
     assert 1 <= sent <= 2
@@ -288,7 +297,7 @@
 
 def test_full_connection_tables_keep_gateways_to_their_servers() -> None:
     """With hundreds of gateways every server's table fills: going round all servers gets no connection."""
-    made = free(servers=[server(n) for n in range(1, 101)], gateways=600, max_attempts=1)
+    made = free(servers=[server(n) for n in range(1, 101)], gateway_count=600, max_attempts=1)
     good, now = 0, START
     for number in range(300):
         now += 200.0
@@ -317,11 +326,11 @@
     cold, warm = server(2, started=START - 1.0), server(1)
     made = free(servers=[warm, cold])
     at = {n: sum(made._fleet._expect(START, made._fleet._peers[n])) for n in (1, 2)}
-    assert at[2] == pytest.approx(at[1] / SETTINGS.cold_from, rel=0.01)
+    assert at[2] == pytest.approx(at[1] / SETTINGS.slow_start_fraction, rel=0.01)
     assert sum(made._fleet._expect(START + 10_000, made._fleet._peers[2])) == pytest.approx(at[1])
 
 
-def measured() -> Gateway:
+def measured() -> DecisionEngine:
     """One server, whose answers took 20 ms so far."""
     made = free(servers=[server(1)], can_cancel=False)
     for n in range(5):
--- a/tests/decisions/test_settings_parser.py
+++ b/tests/decisions/test_settings_parser.py
@@ -19,7 +19,7 @@
 
 from badgeryoke.decisions import interface as api
 from badgeryoke.decisions.settings_parser import KEYS, settings_from, unknown
-from badgeryoke.gateway.application import App
+from badgeryoke.gateway.application import GatewayApplication
 from badgeryoke.gateway.config.platform_file import Config, ConfigError, read_config
 from tests.gateway.resp.test_client_connection import ask, play
 from tests.gateway.test_reload import at
@@ -297,14 +297,21 @@
 
 def test_settings_of_another_customer_are_taken_as_they_are(tmp_path: Path) -> None:
     made = read(tmp_path, FULL)
-    assert [(c.effect.name, c.group.name, c.window_ms) for c in made.settings.classes] == [
-        ("SAFE", "ALL", 5000.0),
-        ("KEYED", "ZONE", 5000.0),
-        ("KEYED", "CELL", 600.0),
-        ("UNSAFE", "ALL", 0.0),
+    assert [
+        (c.idempotency.name, c.deduplication_scope.name, c.deduplication_window_ms)
+        for c in made.settings.classes
+    ] == [
+        ("IDEMPOTENT", "ALL", 5000.0),
+        ("WITH_KEY", "ZONE", 5000.0),
+        ("WITH_KEY", "CELL", 600.0),
+        ("NOT_IDEMPOTENT", "ALL", 0.0),
     ]
-    assert made.settings.plans[2] == api.Plan("open-only", open_limit=5, over_cost=0.5)
-    assert (made.settings.must_subscribe, made.settings.ask_within_ms, made.settings.me) == (True, 8000.0, 4)
+    assert made.settings.plans[2] == api.Plan("open-only", concurrency_limit=5, over_quota_cost=0.5)
+    assert (made.settings.must_subscribe, made.settings.poll_within_ms, made.settings.gateway_index) == (
+        True,
+        8000.0,
+        4,
+    )
     assert (made.connect_ms, made.idle_ms, made.report_names) == (400.0, 45_000.0, ("q", "busy"))
     other = at(at(at(FULL, "feedback.how", "probe"), "family_info.has_counter", False), "zone", "")
     made = read(tmp_path, at(other, "tiers", ["front", "middle", "back"]))
@@ -361,7 +368,7 @@
     async def test() -> None:
         async with Backend() as node, Discovery(entry("a", node.port)) as list_:
             made = config(list_.port, None, roster(entry("a", node.port)))
-            app = App(made, lambda: NOW_MS, lambda: read(tmp_path, faulty.pop(0), True))
+            app = GatewayApplication(made, lambda: NOW_MS, lambda: read(tmp_path, faulty.pop(0), True))
             running = asyncio.ensure_future(app.run())
             await until(lambda: app._hosts.ready)
             while left := len(faulty):
--- a/tests/decisions/test_slow_start.py
+++ b/tests/decisions/test_slow_start.py
@@ -10,7 +10,7 @@
 import pytest
 
 from badgeryoke.decisions import interface as api
-from badgeryoke.decisions.policy.engine import Gateway
+from badgeryoke.decisions.policy.engine import DecisionEngine
 from tests.support.policy_fleet import Fleet
 from tests.support.samples import server
 
@@ -28,12 +28,12 @@
     def settings(self) -> dict[str, Any]:
         """As a gateway is told them."""
         return {
-            "cold_from": self.cold_from,
-            "warm_within_ms": self.warm_within_ms,
-            "fall_multiple": self.fall_multiple,
-            "fall_window_ms": self.fall_window_ms,
+            "slow_start_fraction": self.cold_from,
+            "slow_start_ms": self.warm_within_ms,
+            "overload_multiple": self.fall_multiple,
+            "overload_window_ms": self.fall_window_ms,
             "classes": tuple(
-                api.RequestClass(str(n), aim, 4 * aim, api.Effect.SAFE)
+                api.RequestClass(str(n), aim, 4 * aim, api.Idempotency.IDEMPOTENT)
                 for n, (_, _, aim) in enumerate(self.classes)
             ),
         }
@@ -81,8 +81,8 @@
                 if self.draw.random() < fresh:
                     for key in [key for key in self._open if key[0] == n]:
                         self.out[self._open.pop(key)[1]] -= 1
-                    self.made[n] = Gateway(self.made[n]._settings, self.draw.randrange(1 << 30))
-                    self.made[n].handle(self.now, api.Members(api.Scope.WARM_COPY, tuple(self.listed)))
+                    self.made[n] = DecisionEngine(self.made[n]._settings, self.draw.randrange(1 << 30))
+                    self.made[n].handle(self.now, api.EndpointList(api.ListScope.CACHED, tuple(self.listed)))
             at = self.now
             while (at := at + self.draw.expovariate(self.rate)) < self.now + 1000:
                 [cls] = self.draw.choices(classes, [share for _, share, _ in self.site.classes])
@@ -108,7 +108,7 @@
     def _act(self, n: int, actions: list[api.Action]) -> None:
         for action in actions:
             match action:
-                case api.Send(id=rid, server=to):
+                case api.SendAttempt(id=rid, server=to):
                     work = self.site.classes[int(rid[0])][0]
                     self.sends.append((self.now, n, to))
                     self.cost.append(work / self.site.mean)
@@ -122,9 +122,9 @@
                     self._later(
                         self.now + took,
                         n,
-                        api.Outcome(rid, attempt, to, verdict, took, verdict is api.Verdict.OK),
+                        api.AttemptOutcome(rid, attempt, to, verdict, took, verdict is api.Verdict.OK),
                     )
-                case api.Refuse(id=rid):
+                case api.Reject(id=rid):
                     self.refused += 1
                     if int(rid[2]) < 2:
                         other = self.draw.randrange(len(self.made))
--- a/tests/gateway/cluster/test_connection_leases.py
+++ b/tests/gateway/cluster/test_connection_leases.py
@@ -16,24 +16,31 @@
 
 import pytest
 
-from badgeryoke.cluster.connection_limits import Ask, Connections, ConnLeases, Limit, bucket, process
+from badgeryoke.cluster.connection_limits import (
+    ConnectionLeaseRequest,
+    ConnectionLimits,
+    RequestConnectionLeases,
+    SetConnectionLimit,
+    bucket,
+    process,
+)
 from badgeryoke.cluster.errors import NoLeader
 from badgeryoke.cluster.invariants import Invariants
-from badgeryoke.cluster.node import Member, Node, Setup
-from badgeryoke.cluster.rolling_restart.restart import RollRead
-from badgeryoke.cluster.state_machine.machine import GroupState
-from badgeryoke.cluster.state_machine.part import FLEET, Applied, View
+from badgeryoke.cluster.node import ClusterNode, Member, NodeSetup
+from badgeryoke.cluster.rolling_restart.restart import ReadDesiredState
+from badgeryoke.cluster.state_machine.machine import GroupStateMachine
+from badgeryoke.cluster.state_machine.part import FLEET, ApplyResult, LeaderView
 from badgeryoke.cluster.timings import Timings
 from badgeryoke.decisions.interface import Verdict
-from badgeryoke.gateway.actor import Turns
-from badgeryoke.gateway.attempt import End, Execution, Query
-from badgeryoke.gateway.cluster.connection_leases import GONE_MS, SIFT_MS, Pools
+from badgeryoke.gateway.actor import ActorScheduler
+from badgeryoke.gateway.attempt import Attempt, AttemptEnd, Request
+from badgeryoke.gateway.cluster.connection_leases import GONE_MS, SIFT_MS, ConnectionLeases
 from badgeryoke.gateway.cluster.service import boot_ms
-from badgeryoke.gateway.cluster.settings import Fleet, Servers
+from badgeryoke.gateway.cluster.settings import ClusterSettings, Servers
 from badgeryoke.gateway.config.operators_file import Operators
-from badgeryoke.gateway.diameter.peer import Identity
-from badgeryoke.gateway.diameter.upstream_connection import DiameterServerLink
-from badgeryoke.gateway.resp.upstream_connection import RespServerLink
+from badgeryoke.gateway.diameter.peer import PeerIdentity
+from badgeryoke.gateway.diameter.upstream_connection import DiameterUpstream
+from badgeryoke.gateway.resp.upstream_connection import RespUpstream
 from tests.gateway.cluster.test_service import section
 from tests.gateway.resp.test_client_connection import play
 from tests.support.stand_ins import (
@@ -59,21 +66,21 @@
 
     def __init__(self, name: str, port: int, group: Group, diameter: bool = False) -> None:
         self.name, self.group = name, group
-        self.loop, self.rules = Turns(asyncio.get_running_loop()), Invariants()
+        self.loop, self.rules = ActorScheduler(asyncio.get_running_loop()), Invariants()
         self.did: list[str] = []
         self.drained, self.unanswered = False, 0
-        fleet = Fleet(servers=Servers(connections=MOST))
-        self.pools = Pools(fleet, self.loop, boot_ms, IDLE_MS, self)
-        setup = Setup("f", name, "1", (Member(name, "h"),), timings=TIMINGS)
-        self.node = Node(setup, {}, Random(1), 0.0, 0.0, self.rules)
+        fleet = ClusterSettings(servers=Servers(connections=MOST))
+        self.pools = ConnectionLeases(fleet, self.loop, boot_ms, IDLE_MS, self)
+        setup = NodeSetup("f", name, "1", (Member(name, "h"),), timings=TIMINGS)
+        self.node = ClusterNode(setup, {}, Random(1), 0.0, 0.0, self.rules)
         self.lease = lease = self.pools.lease("s")
         assert lease is not None
         self.link: Any = (
-            DiameterServerLink(
+            DiameterUpstream(
                 (HOST, port),
                 self.loop,
                 boot_ms,
-                me=Identity("g", "r", HOST, 1),
+                me=PeerIdentity("g", "r", HOST, 1),
                 services={},
                 connect_ms=PATIENT_MS,
                 idle_ms=30_000.0,
@@ -81,7 +88,7 @@
                 lease=lease,
             )
             if diameter
-            else RespServerLink(
+            else RespUpstream(
                 (HOST, port),
                 self.loop,
                 boot_ms,
@@ -93,7 +100,7 @@
             )
         )
         lease.link = self.link
-        self.ends: list[End] = []
+        self.ends: list[AttemptEnd] = []
         self.asking = 0
         group.gates.append(self)
 
@@ -113,11 +120,11 @@
         keeper = self.pools.keeper
         return keeper.pools["s"].open if keeper is not None and "s" in keeper.pools else 0
 
-    def ask(self, deadline_ms: float = 2 * PATIENT_MS) -> Execution:
+    def ask(self, deadline_ms: float = 2 * PATIENT_MS) -> Attempt:
         """One attempt."""
         now = boot_ms()
-        made = Execution(
-            Query(f"{len(self.ends):016x}", "c", "p", ord(self.name), deadline_ms, 1.0, 1, safe=True),
+        made = Attempt(
+            Request(f"{len(self.ends):016x}", "c", "p", ord(self.name), deadline_ms, 1.0, 1, safe=True),
             0,
             1,
             now,
@@ -131,7 +138,7 @@
         """From here on attempts without a connection fail soon."""
         self.link._connect_ms = HASTY_MS
 
-    def ended(self, execution: Execution, end: End) -> None:
+    def ended(self, execution: Attempt, end: AttemptEnd) -> None:
         self.ends.append(end)
         if self.asking > 0:  # as many are always under way
             self.loop.call_later(0.002, self.ask)
@@ -143,8 +150,8 @@
     def __init__(self) -> None:
         self.gates: list[Gate] = []
         self.cut: set[str] = set()
-        self.part = Connections(Invariants(), TIMINGS)
-        self.part.apply(0.0, Limit(id="l", server="s", most=MOST, idle_ms=IDLE_MS))
+        self.part = ConnectionLimits(Invariants(), TIMINGS)
+        self.part.apply(0.0, SetConnectionLimit(id="l", server="s", most=MOST, idle_ms=IDLE_MS))
 
     async def run(self) -> None:
         while True:
@@ -159,7 +166,9 @@
                             if gate.name in self.cut
                             else self.part.apply(now, command),
                         )
-            for command in self.part.work(View(now, now, "g", 0.0, TIMINGS, frozenset(), {}, {}, {}, {}, {})):
+            for command in self.part.work(
+                LeaderView(now, now, "g", 0.0, TIMINGS, frozenset(), {}, {}, {}, {}, {})
+            ):
                 self.part.apply(now, command)
             await asyncio.sleep(0.005)
 
@@ -342,11 +351,13 @@
             rolled = a.pools.rolled
 
             def stands(stand: str, **more: Any) -> None:
-                (read,) = [one for one in rolled.poll(boot_ms() + 1e6, 0.0) if isinstance(one, RollRead)]
+                (read,) = [
+                    one for one in rolled.poll(boot_ms() + 1e6, 0.0) if isinstance(one, ReadDesiredState)
+                ]
                 rolled.answered(
                     boot_ms(),
                     read,
-                    Applied(
+                    ApplyResult(
                         {
                             "roll": "r",
                             "stand": stand,
@@ -386,13 +397,16 @@
         gate.pools.begin(gate.node, gate.rules)
         gate.pools.close()  # no look but this test's
         gate.node.states["g0"] = SimpleNamespace(parts={"connections": group.part}, index=1)  # type: ignore[assignment]
-        gate.node.states[FLEET] = GroupState(FLEET, TIMINGS, gate.rules)  # it holds no limits
+        gate.node.states[FLEET] = GroupStateMachine(FLEET, TIMINGS, gate.rules)  # it holds no limits
         gate.node.replicas["g0"] = gate.node.replicas[FLEET] = SimpleNamespace(leading=True)  # type: ignore[assignment]
         for server in ("gone", "used"):
-            group.part.apply(0.0, Limit(id=server, server=server, most=MOST, idle_ms=IDLE_MS))
+            group.part.apply(0.0, SetConnectionLimit(id=server, server=server, most=MOST, idle_ms=IDLE_MS))
         other = process("B/1", "b", "1")
         group.part.apply(
-            0.0, ConnLeases(id="x", holder=other, bucket=bucket("used"), asks=(Ask("used", 0, 0, 1),))
+            0.0,
+            RequestConnectionLeases(
+                id="x", holder=other, bucket=bucket("used"), asks=(ConnectionLeaseRequest("used", 0, 0, 1),)
+            ),
         )
         now = 0.0
         gate.pools.listed(["s"])  # which nobody uses
