--- a/tests/gateway/cluster/test_service.py
+++ b/tests/gateway/cluster/test_service.py
@@ -21,30 +21,30 @@
 
 from badgeryoke.cluster import errors
 from badgeryoke.cluster.events import (
-    Call,
-    Done,
+    ClusterCall,
     Entries,
     HardState,
-    Leave,
-    Received,
-    Say,
-    Send,
+    LeaveCluster,
+    LogEvent,
+    MessageReceived,
+    OperationCompleted,
+    PersistRecords,
+    RecordsPersisted,
+    SendMessage,
     Snapshot,
-    Store,
-    StoreBroke,
-    Stored,
+    StorageFailure,
     Tick,
 )
 from badgeryoke.cluster.invariants import Rule
-from badgeryoke.cluster.key_value import Promise
-from badgeryoke.cluster.messages import NOTHING, Config, Entry, Vote
-from badgeryoke.cluster.state_machine.part import Applied
-from badgeryoke.gateway.application import App
+from badgeryoke.cluster.key_value import PutValue
+from badgeryoke.cluster.messages import NOTHING, GroupConfiguration, LogEntry, RequestVoteReply
+from badgeryoke.cluster.state_machine.part import ApplyResult
+from badgeryoke.gateway.application import GatewayApplication
 from badgeryoke.gateway.cluster import service as service_module
 from badgeryoke.gateway.cluster.admin_calls import line_of, read_call
-from badgeryoke.gateway.cluster.service import Service, setup_of
-from badgeryoke.gateway.cluster.settings import Fleet
-from badgeryoke.gateway.cluster.storage import Disk, StoreWriter, open_store
+from badgeryoke.gateway.cluster.service import ClusterService, setup_of
+from badgeryoke.gateway.cluster.settings import ClusterSettings
+from badgeryoke.gateway.cluster.storage import ClusterStorage, StoreWriter, open_store
 from badgeryoke.gateway.config.operators_file import Operators, OperatorsError, read_operators
 from badgeryoke.gateway.config.platform_file import ConfigError
 from tests.gateway.test_service import until
@@ -133,7 +133,7 @@
     async def test() -> None:
         made = replace(config(1, None, roster()), name="gw-9", operators=Operators(fleet=fleet))
         with pytest.raises(ConfigError, match=r"fleet.me: 'gw-9' is no member"):
-            App(made)
+            GatewayApplication(made)
 
     asyncio.run(test())
 
@@ -163,7 +163,7 @@
         for one in errors.ALL
     ]
     assert all(one.code and one.do for one in errors.ALL)
-    assert sorted(one.code for one in errors.FleetError.__subclasses__()) == sorted(
+    assert sorted(one.code for one in errors.ClusterError.__subclasses__()) == sorted(
         one.code for one in errors.ALL
     )
 
@@ -194,20 +194,20 @@
 )
 def test_a_bad_call_names_its_key(raw: bytes, whom: str, what: str) -> None:
     read = read_call(raw)
-    assert isinstance(read, errors.BadCall) and read.whom == whom and what in read.what
+    assert isinstance(read, errors.InvalidCall) and read.whom == whom and what in read.what
     said = json.loads(line_of(read).removeprefix(b"-ERR "))
-    assert said["error"] == "bad-call" and said["do"] == errors.BadCall.do and said["whom"] == whom
+    assert said["error"] == "bad-call" and said["do"] == errors.InvalidCall.do and said["whom"] == whom
 
 
 def test_calls_are_known_by_several_writings() -> None:
-    put = Promise(id="1", name="n", value="v")
+    put = PutValue(id="1", name="n", value="v")
     for word in ("put", "Promise", "promise"):
         assert read_call(json.dumps({"do": word, "id": "1", "name": "n", "value": "v"}).encode()) == put
     for word in ("get", "PromiseRead", "promise-read", "promise_read"):
         read = read_call(json.dumps({"do": word, "name": "n"}).encode())
-        assert not isinstance(read, str | errors.FleetError) and read.reads and read.id
+        assert not isinstance(read, str | errors.ClusterError) and read.reads and read.id
     assert read_call(b'{"do": "Status"}') == "status"
-    assert line_of(Applied({"a": 1})) == b'+OK {"a":1}\n'
+    assert line_of(ApplyResult({"a": 1})) == b'+OK {"a":1}\n'
 
 
 # The service
@@ -241,7 +241,7 @@
         return int(one.getsockname()[1])
 
 
-def section(folder: Path, **changes: Any) -> Fleet:
+def section(folder: Path, **changes: Any) -> ClusterSettings:
     members = [
         {"name": name, "hall": "h", "address": f"{HOST}:{port}"}
         for name, port in (("a", free()), ("b", 1), ("c", 2))
@@ -255,13 +255,13 @@
             "timings": {"call_ms": 200.0},
             **changes,
         },
-        Fleet,
+        ClusterSettings,
     )
 
 
 @asynccontextmanager
-async def begun(folder: Path, **changes: Any) -> AsyncIterator[tuple[Service, Script]]:
-    made = Service(section(folder, **changes), "a", make=Script)
+async def begun(folder: Path, **changes: Any) -> AsyncIterator[tuple[ClusterService, Script]]:
+    made = ClusterService(section(folder, **changes), "a", make=Script)
     made.start()
     await until(lambda: made.node is not None or made.failed is not None)
     node = made.node
@@ -282,26 +282,35 @@
             assert isinstance(node.events[0], Tick) and node.setup.id == f"a/{node.setup.incarnation}"
 
             def does(event: Any) -> list[Any]:
-                if isinstance(event, Call):
+                if isinstance(event, ClusterCall):
                     return [
-                        Say("warning", "asked", {"of": event.command.name}),
-                        Store("g", 1, (HardState(1, "a/1"),)),
-                        Store("h", 2, (HardState(2, ""),)),
-                        Send("b/1", Vote("g", 1, True, False)),
+                        LogEvent("warning", "asked", {"of": event.command.name}),
+                        PersistRecords("g", 1, (HardState(1, "a/1"),)),
+                        PersistRecords("h", 2, (HardState(2, ""),)),
+                        SendMessage("b/1", RequestVoteReply("g", 1, True, False)),
+                    ]
+                if isinstance(event, RecordsPersisted) and event.group == "h":
+                    return [
+                        OperationCompleted("a.1", ApplyResult("kept")),
+                        OperationCompleted("a.1", "twice"),
+                        OperationCompleted("nobody", None),
                     ]
-                if isinstance(event, Stored) and event.group == "h":
-                    return [Done("a.1", Applied("kept")), Done("a.1", "twice"), Done("nobody", None)]
                 return []
 
             node.does = does
             assert (
                 await made.answer(b'{"do": "put", "id": "1", "name": "n", "value": "v"}') == b'+OK "kept"\n'
             )
-            assert node.seen(Stored) == [Stored("g", 1), Stored("h", 2)] and made._writer is not None
+            assert (
+                node.seen(RecordsPersisted) == [RecordsPersisted("g", 1), RecordsPersisted("h", 2)]
+                and made._writer is not None
+            )
             assert made._writer.transactions == 1 and "asked: of n" in caplog.text
             assert made.links is not None
-            made.links._receive("b/1", (Vote("g", 1, True, False),))
-            assert node.seen(Received) == [Received("b/1", Vote("g", 1, True, False))]
+            made.links._receive("b/1", (RequestVoteReply("g", 1, True, False),))
+            assert node.seen(MessageReceived) == [
+                MessageReceived("b/1", RequestVoteReply("g", 1, True, False))
+            ]
             status = json.loads((await made.answer(b'{"do": "status"}')).removeprefix(b"+OK "))
             assert (
                 status["groups"]["g0"]["state"] == "leader" and status["broken"] == 0 and not status["errors"]
@@ -334,16 +343,16 @@
 
     async def test() -> None:
         async with begun(tmp_path) as (made, node):
-            assert isinstance(await made.call(Promise(id="1", name="n", value="v")), errors.UnknownOutcome)
+            assert isinstance(await made.call(PutValue(id="1", name="n", value="v")), errors.UnknownOutcome)
             assert not made._calls
             await made.leave()
             await made.leave()
-            assert len(node.seen(Leave)) == 1
-            asked = asyncio.ensure_future(made.call(Promise(id="2", name="n", value="v")))
-            await until(lambda: len(node.seen(Call)) == 2)
+            assert len(node.seen(LeaveCluster)) == 1
+            asked = asyncio.ensure_future(made.call(PutValue(id="2", name="n", value="v")))
+            await until(lambda: len(node.seen(ClusterCall)) == 2)
             made.close()
             assert isinstance(await asked, errors.UnknownOutcome)
-            assert isinstance(await made.call(Promise(id="2", name="n", value="v")), errors.NoLeader)
+            assert isinstance(await made.call(PutValue(id="2", name="n", value="v")), errors.NoLeader)
 
     play(test)
 
@@ -351,7 +360,7 @@
 def broken(node: Script) -> Callable[[Any], list[Any]]:
     def does(event: Any) -> list[Any]:
         node.rules.check(Rule.VOTE_ONCE, False, lambda: "two in term 3")
-        return [Done("a.1", Applied("a lie"))]
+        return [OperationCompleted("a.1", ApplyResult("a lie"))]
 
     return does
 
@@ -372,8 +381,8 @@
     async def test() -> None:
         async with begun(tmp_path) as (made, node):
             node.does = way(node)
-            assert isinstance(await made.call(Promise(id="1", name="n", value="v")), errors.UnknownOutcome)
-            after = await made.call(Promise(id="1", name="n", value="v"))
+            assert isinstance(await made.call(PutValue(id="1", name="n", value="v")), errors.UnknownOutcome)
+            after = await made.call(PutValue(id="1", name="n", value="v"))
             assert isinstance(after, errors.InvariantBroken) and word in after.what
             events = len(node.events)
             made._feed(Tick())
@@ -392,13 +401,17 @@
 
     async def test() -> None:
         async with begun(tmp_path) as (made, node):
-            monkeypatch.setattr(Disk, "write", full)
-            node.does = lambda event: [Store("g", 1, (HardState(1, ""),))]
+            monkeypatch.setattr(ClusterStorage, "write", full)
+            node.does = lambda event: [PersistRecords("g", 1, (HardState(1, ""),))]
             made._feed(Tick())
             made._feed(Tick())
-            await until(lambda: node.seen(StoreBroke))
+            await until(lambda: node.seen(StorageFailure))
             made._feed(Tick())
-            assert not node.seen(Stored) and len(node.seen(StoreBroke)) == 1 and made.failed is None
+            assert (
+                not node.seen(RecordsPersisted)
+                and len(node.seen(StorageFailure)) == 1
+                and made.failed is None
+            )
             assert "store-failed" in made.status()["errors"][0]
 
     play(test)
@@ -411,19 +424,19 @@
 
     async def test() -> None:
         held = open_store(tmp_path / "s", "f", "a")
-        assert isinstance(held, Disk)
-        made = Service(section(tmp_path), "a", make=Script)
+        assert isinstance(held, ClusterStorage)
+        made = ClusterService(section(tmp_path), "a", make=Script)
         made.start()
-        assert isinstance(await made.call(Promise(id="1", name="n", value="v")), errors.NoLeader)
+        assert isinstance(await made.call(PutValue(id="1", name="n", value="v")), errors.NoLeader)
         await asyncio.sleep(0.05)
         assert made.node is None
         held.close()
         await until(lambda: made.node is not None)
         made.close()
-        other = Service(section(tmp_path, name="other"), "a", make=Script)
+        other = ClusterService(section(tmp_path, name="other"), "a", make=Script)
         other.start()
         await until(lambda: other.failed is not None)
-        assert isinstance(other.failed, errors.AnotherFleet)
+        assert isinstance(other.failed, errors.ClusterMismatch)
         other.close()
 
     play(test)
@@ -434,16 +447,16 @@
 ) -> None:
     me, others = "a/x1", ("b/1", "c/1")
     disk = open_store(tmp_path / "s", "f", "a", fresh=lambda: "x1")
-    assert isinstance(disk, Disk)
+    assert isinstance(disk, ClusterStorage)
     disk.write(
         [
-            Store(
+            PersistRecords(
                 "g1",
                 0,
                 (
                     HardState(4, ""),
-                    Snapshot(1, 1, Config((me, *others)), b""),
-                    Entries((Entry(2, 4, NOTHING, b""),)),
+                    Snapshot(1, 1, GroupConfiguration((me, *others)), b""),
+                    Entries((LogEntry(2, 4, NOTHING, b""),)),
                 ),
             )
         ]
@@ -467,11 +480,11 @@
 @contextlib.contextmanager
 def scripted(monkeypatch: pytest.MonkeyPatch) -> Iterator[None]:
     with monkeypatch.context() as patched:
-        patched.setattr(service_module, "Node", Script)
+        patched.setattr(service_module, "ClusterNode", Script)
         yield
 
 
-async def call(app: App, line: bytes) -> bytes:
+async def call(app: GatewayApplication, line: bytes) -> bytes:
     reader, writer = await connect(app.mgmt_address)
     writer.write(line)
     said = await reader.read()
@@ -497,10 +510,10 @@
                 script = app.fleet.node
                 assert isinstance(script, Script)
                 script.does = lambda event: (
-                    [Done("a.1", Applied([1]))]
-                    if isinstance(event, Call)
-                    else [Done(event.token, None)]
-                    if isinstance(event, Leave)
+                    [OperationCompleted("a.1", ApplyResult([1]))]
+                    if isinstance(event, ClusterCall)
+                    else [OperationCompleted(event.token, None)]
+                    if isinstance(event, LeaveCluster)
                     else []
                 )
                 long = json.dumps({"do": "put", "id": "1", "name": "n", "value": "v" * 1000}).encode()
@@ -510,9 +523,9 @@
                 assert (await call(app, b"FLEET {}\n")).startswith(b'-ERR {"error":"bad-call","whom":"do"')
                 app.end()
                 await app.done.wait()
-                assert len(script.seen(Leave)) == 1
+                assert len(script.seen(LeaveCluster)) == 1
                 again = open_store(tmp_path / "s", "f", "a")  # let go
-                assert isinstance(again, Disk)
+                assert isinstance(again, ClusterStorage)
                 again.close()
 
     with scripted(monkeypatch):
@@ -521,10 +534,10 @@
 
 def test_a_writer_that_has_ended_takes_nothing(tmp_path: Path) -> None:
     disk = open_store(tmp_path / "s", "f", "a")
-    assert isinstance(disk, Disk)
+    assert isinstance(disk, ClusterStorage)
     writer = StoreWriter(disk, lambda *_: None, lambda _: None, lambda _: None)
     writer.end(10)
-    writer.put([Store("g", 1, (HardState(1, ""),))])
+    writer.put([PersistRecords("g", 1, (HardState(1, ""),))])
     again = open_store(tmp_path / "s", "f", "a")
-    assert isinstance(again, Disk) and not again.saved
+    assert isinstance(again, ClusterStorage) and not again.saved
     again.close()
--- a/tests/gateway/cluster/test_storage.py
+++ b/tests/gateway/cluster/test_storage.py
@@ -13,39 +13,48 @@
 import pytest
 
 from badgeryoke.cluster import errors
-from badgeryoke.cluster.events import Entries, Forget, HardState, Record, Saved, Snapshot, Store, Stored
-from badgeryoke.cluster.messages import COMMAND, Config, Entry
-from badgeryoke.gateway.cluster.storage import MOST_KEPT, NAME, TOLD, Disk, StoreWriter, open_store
+from badgeryoke.cluster.events import (
+    DiscardGroup,
+    Entries,
+    HardState,
+    PersistedGroup,
+    PersistRecords,
+    Record,
+    RecordsPersisted,
+    Snapshot,
+)
+from badgeryoke.cluster.messages import COMMAND, GroupConfiguration, LogEntry
+from badgeryoke.gateway.cluster.storage import MOST_KEPT, NAME, TOLD, ClusterStorage, StoreWriter, open_store
 
-CONFIG = Config(("a/1", "b/1", "c/1"))
+CONFIG = GroupConfiguration(("a/1", "b/1", "c/1"))
 
 
-def entry(index: int, term: int = 1, size: int = 40) -> Entry:
-    return Entry(index, term, COMMAND, bytes([index % 256]) * size)
+def entry(index: int, term: int = 1, size: int = 40) -> LogEntry:
+    return LogEntry(index, term, COMMAND, bytes([index % 256]) * size)
 
 
 def entries(first: int, last: int, term: int = 1, size: int = 40) -> Entries:
     return Entries(tuple(entry(n, term, size) for n in range(first, last + 1)))
 
 
-def opened(folder: Path, member: str = "a", fleet: str = "f", word: str = "1") -> Disk:
+def opened(folder: Path, member: str = "a", fleet: str = "f", word: str = "1") -> ClusterStorage:
     made = open_store(folder, fleet, member, fresh=lambda: word)
-    assert isinstance(made, Disk), made
+    assert isinstance(made, ClusterStorage), made
     return made
 
 
-def put(disk: Disk, group: str, *records: Record) -> None:
-    disk.write([Store(group, 0, records)])
+def put(disk: ClusterStorage, group: str, *records: Record) -> None:
+    disk.write([PersistRecords(group, 0, records)])
 
 
 @pytest.fixture
-def disk(tmp_path: Path) -> Iterator[Disk]:
+def disk(tmp_path: Path) -> Iterator[ClusterStorage]:
     made = opened(tmp_path / "s")
     yield made
     made.close()
 
 
-def again(disk: Disk, word: str = "2") -> Disk:
+def again(disk: ClusterStorage, word: str = "2") -> ClusterStorage:
     disk.close()
     return opened(disk.folder, word=word)
 
@@ -57,39 +66,47 @@
 @pytest.mark.parametrize(
     ("records", "saved"),
     [
-        ([HardState(3, "b/1")], Saved(3, "b/1")),
-        ([entries(1, 5)], Saved(entries=entries(1, 5).entries)),
-        ([entries(1, 5), entries(3, 3, 2)], Saved(entries=(*entries(1, 2).entries, entry(3, 2)))),
-        ([entries(1, 5), entries(1, 1, 2)], Saved(entries=(entry(1, 2),))),
+        ([HardState(3, "b/1")], PersistedGroup(3, "b/1")),
+        ([entries(1, 5)], PersistedGroup(entries=entries(1, 5).entries)),
+        ([entries(1, 5), entries(3, 3, 2)], PersistedGroup(entries=(*entries(1, 2).entries, entry(3, 2)))),
+        ([entries(1, 5), entries(1, 1, 2)], PersistedGroup(entries=(entry(1, 2),))),
         (
             [entries(1, 5), Snapshot(3, 1, CONFIG, b"x")],
-            Saved(snapshot=Snapshot(3, 1, CONFIG, b"x"), entries=entries(4, 5).entries),
+            PersistedGroup(snapshot=Snapshot(3, 1, CONFIG, b"x"), entries=entries(4, 5).entries),
         ),
         # The log holds another entry where the snapshot ends: nothing behind it can stand.
-        ([entries(1, 5), Snapshot(3, 2, CONFIG, b"x")], Saved(snapshot=Snapshot(3, 2, CONFIG, b"x"))),
+        (
+            [entries(1, 5), Snapshot(3, 2, CONFIG, b"x")],
+            PersistedGroup(snapshot=Snapshot(3, 2, CONFIG, b"x")),
+        ),
         (
             [entries(1, 5), Snapshot(9, 2, CONFIG, b"x"), entries(10, 11, 3)],
-            Saved(snapshot=Snapshot(9, 2, CONFIG, b"x"), entries=entries(10, 11, 3).entries),
+            PersistedGroup(snapshot=Snapshot(9, 2, CONFIG, b"x"), entries=entries(10, 11, 3).entries),
         ),
         (
             [entries(1, 5), Snapshot(3, 1, CONFIG, b"x"), Snapshot(3, 1, CONFIG, b"y"), entries(6, 6)],
-            Saved(snapshot=Snapshot(3, 1, CONFIG, b"y"), entries=entries(4, 6).entries),
+            PersistedGroup(snapshot=Snapshot(3, 1, CONFIG, b"y"), entries=entries(4, 6).entries),
         ),
         (
             [entries(1, 5), Snapshot(3, 1, CONFIG, b"x"), entries(4, 4, 2), entries(5, 5, 2)],
-            Saved(snapshot=Snapshot(3, 1, CONFIG, b"x"), entries=entries(4, 5, 2).entries),
+            PersistedGroup(snapshot=Snapshot(3, 1, CONFIG, b"x"), entries=entries(4, 5, 2).entries),
+        ),
+        (
+            [Snapshot(0, 0, GroupConfiguration(()), b"founding")],
+            PersistedGroup(snapshot=Snapshot(0, 0, GroupConfiguration(()), b"founding")),
         ),
-        ([Snapshot(0, 0, Config(()), b"founding")], Saved(snapshot=Snapshot(0, 0, Config(()), b"founding"))),
-        ([entries(1, 2), Forget(), HardState(1, "")], Saved(1)),
+        ([entries(1, 2), DiscardGroup(), HardState(1, "")], PersistedGroup(1)),
     ],
 )
-def test_what_was_written_comes_back(disk: Disk, records: list[Record], saved: Saved) -> None:
+def test_what_was_written_comes_back(
+    disk: ClusterStorage, records: list[Record], saved: PersistedGroup
+) -> None:
     """One transaction a record, and all records in one."""
     for record in records:
         put(disk, "g", record)
     put(disk, "h", *records)
     put(disk, "gone", *records)
-    put(disk, "gone", Forget())
+    put(disk, "gone", DiscardGroup())
     back = again(disk)
     assert back.saved == {"g": saved, "h": saved} and back.incarnation == "1" and not back.faults
     put(back, "g", HardState(9, "z/1"))  # the chain goes on from what was read
@@ -109,7 +126,7 @@
 @pytest.mark.parametrize(
     "record", [entries(7, 7), entries(0, 1), Entries((entry(6), entry(8))), Snapshot(1, 1, CONFIG, b"")]
 )
-def test_a_hole_in_a_log_is_never_written(disk: Disk, record: Record) -> None:
+def test_a_hole_in_a_log_is_never_written(disk: ClusterStorage, record: Record) -> None:
     put(disk, "g", entries(1, 5), Snapshot(2, 1, CONFIG, b"x"))
     with pytest.raises(Exception, match="group g"):
         put(disk, "g", record)
@@ -122,11 +139,13 @@
 # ---------------------------------------------------------------------------------------------------------------
 
 
-def filled(folder: Path, count: int = 60) -> dict[str, Saved]:
+def filled(folder: Path, count: int = 60) -> dict[str, PersistedGroup]:
     """A store as a killed process leaves it: a part brought in, a part in the write-ahead log."""
     disk = opened(folder / "live")
     for n in range(1, count + 1):
-        disk.write([Store(group, n, (HardState(n, "b/1"), entries(n, n, size=900))) for group in ("g", "h")])
+        disk.write(
+            [PersistRecords(group, n, (HardState(n, "b/1"), entries(n, n, size=900))) for group in ("g", "h")]
+        )
         if n == count - 4:
             put(disk, "g", Snapshot(5, 1, CONFIG, b"body" * 50))
             disk._db.execute("PRAGMA wal_checkpoint(TRUNCATE)")
@@ -154,7 +173,7 @@
             assert back.saved == saved and not back.faults, bit
         else:
             newcomers += 1
-            assert not back.saved and [type(one) for one in back.faults] == [errors.StoreDamaged], bit
+            assert not back.saved and [type(one) for one in back.faults] == [errors.StorageDamaged], bit
             [kept] = folder.glob("damaged-*")
             assert (kept / NAME).exists()
             put(back, "g", entries(1, 2))
@@ -209,13 +228,13 @@
     back.close()
 
 
-def test_a_store_that_is_gone_is_told_and_damaged_ones_are_kept_within_a_bound(disk: Disk) -> None:
+def test_a_store_that_is_gone_is_told_and_damaged_ones_are_kept_within_a_bound(disk: ClusterStorage) -> None:
     put(disk, "g", entries(1, 2))
     disk.close()
     (disk.folder / NAME).unlink()
     for n in range(MOST_KEPT + 3):
         back = opened(disk.folder, word=f"w{n}")
-        assert back.incarnation == f"w{n}" and isinstance(back.faults[0], errors.StoreDamaged)
+        assert back.incarnation == f"w{n}" and isinstance(back.faults[0], errors.StorageDamaged)
         back.close()
         (disk.folder / NAME).write_bytes(b"not a store" * 500)
     assert len(list(disk.folder.glob("damaged-*"))) == MOST_KEPT
@@ -225,23 +244,23 @@
 # ----------------------------------------------------------------------------------------------------------
 
 
-def test_one_folder_one_process_one_member_one_fleet(disk: Disk) -> None:
+def test_one_folder_one_process_one_member_one_fleet(disk: ClusterStorage) -> None:
     held = open_store(disk.folder, "f", "a")
-    assert isinstance(held, errors.StoreFailed) and "another process" in held.what
+    assert isinstance(held, errors.StorageFailed) and "another process" in held.what
     disk.close()
     for fleet, member in (("other", "a"), ("f", "b")):
-        assert isinstance(open_store(disk.folder, fleet, member), errors.AnotherFleet)
+        assert isinstance(open_store(disk.folder, fleet, member), errors.ClusterMismatch)
     back = opened(disk.folder)
     assert back.incarnation == "1"
     back.close()
     (disk.folder / NAME).rename(disk.folder / "store-99.db")
     later = open_store(disk.folder, "f", "a")
-    assert isinstance(later, errors.StoreFailed) and "store-99.db" in later.what
+    assert isinstance(later, errors.StorageFailed) and "store-99.db" in later.what
 
 
 def test_a_folder_that_cannot_be_made_is_an_error(tmp_path: Path) -> None:
     (tmp_path / "file").write_text("")
-    assert isinstance(open_store(tmp_path / "file" / "s", "f", "a"), errors.StoreFailed)
+    assert isinstance(open_store(tmp_path / "file" / "s", "f", "a"), errors.StorageFailed)
 
 
 # Off the loop
@@ -251,19 +270,19 @@
 class Told:
     """Collects what a writer tells."""
 
-    def __init__(self, disk: Disk) -> None:
-        self.stored: list[Stored] = []
-        self.broke: list[errors.FleetError] = []
+    def __init__(self, disk: ClusterStorage) -> None:
+        self.stored: list[RecordsPersisted] = []
+        self.broke: list[errors.ClusterError] = []
         self.news = asyncio.Event()
         self.writer = StoreWriter(
             disk, asyncio.get_running_loop().call_soon_threadsafe, self._stored, self._broke
         )
 
-    def _stored(self, those: list[Stored]) -> None:
+    def _stored(self, those: list[RecordsPersisted]) -> None:
         self.stored += those
         self.news.set()
 
-    def _broke(self, error: errors.FleetError) -> None:
+    def _broke(self, error: errors.ClusterError) -> None:
         self.broke.append(error)
         self.news.set()
 
@@ -274,39 +293,42 @@
 
 
 def test_what_waits_goes_into_one_transaction_and_is_answered_in_order(
-    disk: Disk, monkeypatch: pytest.MonkeyPatch
+    disk: ClusterStorage, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    gate, write = threading.Event(), Disk.write
-    monkeypatch.setattr(Disk, "write", lambda self, batch: (gate.wait(10), write(self, batch))[1])
+    gate, write = threading.Event(), ClusterStorage.write
+    monkeypatch.setattr(ClusterStorage, "write", lambda self, batch: (gate.wait(10), write(self, batch))[1])
 
     async def test() -> None:
         told = Told(disk)
-        stores = [Store(f"g{n % 3}", n, (HardState(n, ""),)) for n in range(40)]
+        stores = [PersistRecords(f"g{n % 3}", n, (HardState(n, ""),)) for n in range(40)]
         for one in stores:
             told.writer.put([one])
         await asyncio.sleep(0)
         assert not told.stored  # the disk hangs, the loop does not
         gate.set()
         await told.until(40)
-        assert told.stored == [Stored(one.group, one.seq) for one in stores] and told.writer.transactions == 2
-        told.writer.put([Store("last", 1, (HardState(1, "a/1"),))])
+        assert (
+            told.stored == [RecordsPersisted(one.group, one.seq) for one in stores]
+            and told.writer.transactions == 2
+        )
+        told.writer.put([PersistRecords("last", 1, (HardState(1, "a/1"),))])
         told.writer.end(10)
 
     asyncio.run(test())
     back = opened(disk.folder)
-    assert back.saved["last"] == Saved(1, "a/1") and back.saved["g0"].term == 39
+    assert back.saved["last"] == PersistedGroup(1, "a/1") and back.saved["g0"].term == 39
     back.close()
 
 
-def test_a_full_disk_breaks_the_store_once_and_keeps_what_was_acknowledged(disk: Disk) -> None:
+def test_a_full_disk_breaks_the_store_once_and_keeps_what_was_acknowledged(disk: ClusterStorage) -> None:
     async def test() -> None:
         disk._db.execute("PRAGMA max_page_count = 40")
         told = Told(disk)
         for n in range(1, 100):
-            told.writer.put([Store("g", n, (entries(n, n, size=4000),))])
+            told.writer.put([PersistRecords("g", n, (entries(n, n, size=4000),))])
             await told.until(n)
-        assert [type(one) for one in told.broke] == [errors.StoreFailed] and "full" in told.broke[0].what
-        told.writer.put([Store("g", 100, (HardState(1, ""),))])
+        assert [type(one) for one in told.broke] == [errors.StorageFailed] and "full" in told.broke[0].what
+        told.writer.put([PersistRecords("g", 100, (HardState(1, ""),))])
         told.writer.end(10)
         assert len(told.broke) == 1
         back = opened(disk.folder)
@@ -317,16 +339,16 @@
 
 
 def test_a_disk_that_does_not_keep_up_is_given_up_at_the_bound(
-    disk: Disk, monkeypatch: pytest.MonkeyPatch
+    disk: ClusterStorage, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     monkeypatch.setattr("badgeryoke.gateway.cluster.storage.MOST_WAITING", 10_000)
     gate = threading.Event()
-    monkeypatch.setattr(Disk, "write", lambda self, batch: gate.wait(10))
+    monkeypatch.setattr(ClusterStorage, "write", lambda self, batch: gate.wait(10))
 
     async def test() -> None:
         told = Told(disk)
         for n in range(30):
-            told.writer.put([Store("g", n, (entries(n, n, size=1000),))])
+            told.writer.put([PersistRecords("g", n, (entries(n, n, size=1000),))])
         assert len(told.broke) == 1 and not told.stored
         gate.set()
         told.writer.end(10)
--- a/tests/gateway/cluster/test_transport.py
+++ b/tests/gateway/cluster/test_transport.py
@@ -20,24 +20,24 @@
     COMMAND,
     VERSION,
     AnyMessage,
-    Append,
-    Entry,
+    AppendEntries,
     Envelope,
+    GossipUpdate,
+    LogEntry,
     Ping,
-    Rumour,
-    Vote,
+    RequestVoteReply,
 )
-from badgeryoke.gateway.cluster.transport import Bounds, Links, Peer, frame, read
+from badgeryoke.gateway.cluster.transport import Bounds, ClusterTransport, PeerLink, frame, read
 from tests.gateway.test_service import until
 from tests.support.stand_ins import HOST
 
 SOON = Bounds(connect_s=0.2, hello_s=0.2, stall_s=0.2, ask_s=0.0, again_least_s=0.01, again_most_s=0.05)
-PING = Ping(1, "b/1", (Rumour("c/1", 1, 3, "a/1"),))
+PING = Ping(1, "b/1", (GossipUpdate("c/1", 1, 3, "a/1"),))
 HELLO = Envelope(VERSION, "f", "a/1", "b", ())
 
 
-def big(size: int = 1000, index: int = 1) -> Append:
-    return Append("g", 1, index - 1, 1, (Entry(index, 1, COMMAND, b"x" * size),), 0, 0)
+def big(size: int = 1000, index: int = 1) -> AppendEntries:
+    return AppendEntries("g", 1, index - 1, 1, (LogEntry(index, 1, COMMAND, b"x" * size),), 0, 0)
 
 
 class End:
@@ -54,8 +54,8 @@
         self.listening = listening or socket.create_server((HOST, 0))
         self.port = self.listening.getsockname()[1]
         self.got: list[tuple[str, AnyMessage]] = []
-        self.errors: list[errors.FleetError] = []
-        self.links = Links(
+        self.errors: list[errors.ClusterError] = []
+        self.links = ClusterTransport(
             fleet,
             me,
             {name: (HOST, port) for name, port in others.items()},
@@ -98,7 +98,7 @@
                 take(sender, those)
 
             there.links._receive = counted
-            said: list[AnyMessage] = [PING, big(), Vote("g", 2, True, False), big(70_000, 2)]
+            said: list[AnyMessage] = [PING, big(), RequestVoteReply("g", 2, True, False), big(70_000, 2)]
             for one in said:
                 here.links.send("b/1", one)
             await until(lambda: len(there.got) == 4)
@@ -111,7 +111,7 @@
                 here.links.send("b/1", big(100_000, n + 1))
             await until(lambda: len(there.got) == 44)
             assert len(frames) > 4 and [
-                m.entries[0].index for _, m in there.got[4:] if isinstance(m, Append)
+                m.entries[0].index for _, m in there.got[4:] if isinstance(m, AppendEntries)
             ] == list(range(1, 41))
 
     play(test)
@@ -221,7 +221,7 @@
 
 def test_at_the_bound_the_oldest_light_one_goes_then_the_oldest() -> None:
     bounds = Bounds(most_messages=4, most_bytes=100)
-    peer = Peer("b", (HOST, 1))
+    peer = PeerLink("b", (HOST, 1))
     for word, light in (
         (b"h1", False),
         (b"l1", True),
@@ -278,7 +278,7 @@
     async def test() -> None:
         bounds = replace(SOON, most_bytes=200_000)
         async with pair(bounds=bounds) as (here, there), Silent(reads) as silent:
-            here.links.peers["c"] = Peer("c", (HOST, silent.port))
+            here.links.peers["c"] = PeerLink("c", (HOST, silent.port))
             sent = 0
             while silent.connections < 3:
                 for _ in range(5):
--- a/tests/gateway/diameter/test_diameter.py
+++ b/tests/gateway/diameter/test_diameter.py
@@ -13,14 +13,14 @@
 from tornado.iostream import IOStream
 
 from badgeryoke.decisions.interface import Verdict
-from badgeryoke.gateway.actor import Turns, WallClock
-from badgeryoke.gateway.application import App
-from badgeryoke.gateway.attempt import Execution, Query
+from badgeryoke.gateway.actor import ActorScheduler, WallClock
+from badgeryoke.gateway.application import GatewayApplication
+from badgeryoke.gateway.attempt import Attempt, Request
 from badgeryoke.gateway.config.platform_file import Config
 from badgeryoke.gateway.diameter import client_connection, upstream_connection
-from badgeryoke.gateway.diameter.peer import Identity as PeerIdentity
-from badgeryoke.gateway.diameter.peer import Peer, State
-from badgeryoke.gateway.diameter.upstream_connection import DiameterServerLink
+from badgeryoke.gateway.diameter.peer import Peer, PeerState
+from badgeryoke.gateway.diameter.peer import PeerIdentity as PeerIdentity
+from badgeryoke.gateway.diameter.upstream_connection import DiameterUpstream
 from tests.gateway.resp.test_client_connection import ask, play
 from tests.gateway.test_dispatcher import FakeLoop
 from tests.gateway.test_service import until
@@ -54,7 +54,9 @@
 Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 
 
-def with_gateway(test: Callable[[App, Any], Awaitable[None]], kind: str = "std", script: Any = None) -> None:
+def with_gateway(
+    test: Callable[[GatewayApplication, Any], Awaitable[None]], kind: str = "std", script: Any = None
+) -> None:
     """Run a test against one gateway and one server of the kind."""
 
     async def run() -> None:
@@ -64,7 +66,7 @@
     play(run)
 
 
-async def open_peer(app: App, host: str = "pos.example") -> Streams:
+async def open_peer(app: GatewayApplication, host: str = "pos.example") -> Streams:
     reader, writer = await connect(app.diameter_address)
     writer.write(cer(host))
     got = await read_message(reader)
@@ -78,7 +80,7 @@
 
 
 def test_an_event_is_served_and_answered_in_standard_terms() -> None:
-    async def test(app: App, node: Backend) -> None:
+    async def test(app: GatewayApplication, node: Backend) -> None:
         peer = await open_peer(app)
         proxy = avp(284, avp(280, "p") + avp(33, "state"))
         debit, check = sorted(
@@ -113,7 +115,7 @@
             )
             made = config(list_.port, None, roster(entry("a", node.port)), True, classes=classes)
             assert made.diameter is not None
-            app = App(
+            app = GatewayApplication(
                 replace(made, diameter=replace(made.diameter, check_class=check, debit_class=debit)),
                 lambda: NOW_MS,
             )
@@ -157,7 +159,7 @@
 
 @pytest.mark.parametrize(("sent", "result"), FAULTS)
 def test_what_cannot_be_served_gets_its_result_code_and_is_not_sent(sent: bytes, result: int) -> None:
-    async def test(app: App, node: Backend) -> None:
+    async def test(app: GatewayApplication, node: Backend) -> None:
         peer = await open_peer(app)
         [got] = await call(peer, sent)
         assert (got.result, bool(got.flags & 0x20)) == (result, 3000 <= result < 4000)
@@ -171,7 +173,7 @@
 
 
 def test_a_repeat_inside_the_window_is_sent_with_the_key_of_its_identity() -> None:
-    async def test(app: App, node: Backend) -> None:
+    async def test(app: GatewayApplication, node: Backend) -> None:
         peer = await open_peer(app)
         [got] = await call(peer, ccr(9, flags=0xD0, extra=event_time(NOW_MS)))
         assert got.result == 2001 and b"r=1" in node.commands[0][3]
@@ -190,7 +192,7 @@
 
 @pytest.mark.parametrize(("sent", "result"), CLOSED)
 def test_a_message_that_cannot_be_framed_costs_its_own_connection(sent: bytes, result: int | None) -> None:
-    async def test(app: App, node: Backend) -> None:
+    async def test(app: GatewayApplication, node: Backend) -> None:
         other, peer = await open_peer(app), await open_peer(app)
         peer[1].write(sent)
         if result is None:
@@ -216,7 +218,7 @@
 
 @pytest.mark.parametrize(("sent", "result"), WRONG)
 def test_a_wrong_peer_is_told_and_closed(sent: bytes, result: int | None) -> None:
-    async def test(app: App, node: Backend) -> None:
+    async def test(app: GatewayApplication, node: Backend) -> None:
         reader, writer = await connect(app.diameter_address)
         writer.write(sent)
         if result is not None:
@@ -227,7 +229,7 @@
 
 
 def test_watchdog_and_disconnection() -> None:
-    async def test(app: App, node: Backend) -> None:
+    async def test(app: GatewayApplication, node: Backend) -> None:
         peer = await open_peer(app)
         [dwa] = await call(peer, message(0x80, 280, 0, 5, 5, avp(264, "pos.example") + avp(296, "example")))
         assert (dwa.command, dwa.result, dwa.hop) == (280, 2001, 5)
@@ -239,7 +241,7 @@
 
 
 def test_at_the_end_a_client_gets_its_answer_and_then_a_dpr() -> None:
-    async def test(app: App, node: Backend) -> None:
+    async def test(app: GatewayApplication, node: Backend) -> None:
         peer = await open_peer(app)
         peer[1].write(ccr(9))
         await node.books.arrived.wait()
@@ -257,7 +259,7 @@
 def test_a_retry_over_a_new_connection_joins_the_running_query() -> None:
     """The first connection breaks after the debit was sent on: one execution answers the retry too."""
 
-    async def test(app: App, node: Backend) -> None:
+    async def test(app: GatewayApplication, node: Backend) -> None:
         first = await open_peer(app)
         first[1].write(ccr(9))
         await node.books.arrived.wait()
@@ -278,7 +280,7 @@
 
 
 def test_identifiers_of_two_requests_are_not_sent_on() -> None:
-    async def test(app: App, node: Backend) -> None:
+    async def test(app: GatewayApplication, node: Backend) -> None:
         peer = await open_peer(app)
         results = [
             (await call(peer, sent))[0].result
@@ -296,7 +298,7 @@
 
 
 def test_a_refusal_says_when_to_come_back_and_is_forgotten() -> None:
-    async def test(app: App, node: Backend) -> None:
+    async def test(app: GatewayApplication, node: Backend) -> None:
         peer = await open_peer(app)
         got = [(await call(peer, ccr(n, service=2, units=6)))[0] for n in range(4)]
         assert [g.result for g in got] == [2001, 3004, 3004, 3004]
@@ -335,7 +337,7 @@
 def test_what_a_diameter_server_answers_becomes_an_outcome(
     cls: str, script: list[int | None], answer: Any, sent: int
 ) -> None:
-    async def test(app: App, node: DiameterServer) -> None:
+    async def test(app: GatewayApplication, node: DiameterServer) -> None:
         key = "5c0f6e1a2b3d4c59" if cls == "load-send" else ""
         [got] = await ask(app, query("r", cls, key=key, body="body"))
         assert got == answer or str(got).startswith(str(answer))
@@ -353,7 +355,7 @@
 @pytest.mark.parametrize(("action", "result"), [(0, 5012), (2, 3004)])
 def test_a_silent_server_costs_no_request_its_answer(action: int, result: int) -> None:
     """A debit that may have run is failed, and so is its repeat; a check never harms, and is refused."""
-    classes = tuple(replace(cls, aim_ms=1000.0, deadline_ms=1000.0) for cls in (SAFE, KEYED))
+    classes = tuple(replace(cls, latency_objective_ms=1000.0, deadline_ms=1000.0) for cls in (SAFE, KEYED))
 
     async def test() -> None:
         async with DiameterServer(script=[None] * 9) as node:
@@ -396,7 +398,7 @@
 
     loop, stream = FakeLoop(), Stream()
     me = PeerIdentity("gw0.yoke.example", "yoke.example", "127.0.0.1", 1)
-    peer = Peer(stream, me, Turns(loop), 30.0)  # type: ignore[arg-type]
+    peer = Peer(stream, me, ActorScheduler(loop), 30.0)  # type: ignore[arg-type]
     peer.deliver(peer._arrived, cer())
     loop.run(35.0)
     assert stream.sent.count(struct.pack(">I", 0x80 << 24 | 280)) == 1 and not stream.over
@@ -421,7 +423,7 @@
 
 
 def test_a_lost_diameter_server_may_have_run_what_was_written() -> None:
-    async def test(app: App, node: DiameterServer) -> None:
+    async def test(app: GatewayApplication, node: DiameterServer) -> None:
         reader, writer = await connect(app.address)
         writer.write(query("r", "load-send", key="5c0f6e1a2b3d4c59"))
         await node.books.arrived.wait()
@@ -513,9 +515,9 @@
         def closed(self) -> bool:
             return False
 
-    loop = Turns(FakeLoop())
+    loop = ActorScheduler(FakeLoop())
     me = PeerIdentity("gw0.yoke.example", "yoke.example", "127.0.0.1", 1)
-    owner = DiameterServerLink(
+    owner = DiameterUpstream(
         ("127.0.0.1", 1),
         loop,
         lambda: 0.0,
@@ -526,13 +528,13 @@
         watchdog_s=30.0,
     )
     connection = upstream_connection._Connection(cast(IOStream, Stuck()), owner, loop, 30.0)
-    connection.state = State.OPEN
+    connection.state = PeerState.OPEN
     ends: dict[str, Verdict] = {}
     for name in ("first", "second", "last"):
-        asked = Query(name, "load-send", "small", 5, 1000.0, 1.0, 1, key=name)
+        asked = Request(name, "load-send", "small", 5, 1000.0, 1.0, 1, key=name)
         connection.post(
             connection.write,
-            Execution(asked, 0, 1, 0.0, 1000.0, lambda one, end: ends.update({one.query.id: end.verdict})),
+            Attempt(asked, 0, 1, 0.0, 1000.0, lambda one, end: ends.update({one.query.id: end.verdict})),
         )
     loop.run()
     connection.gone()
@@ -544,7 +546,7 @@
 ) -> None:
     monkeypatch.setattr(client_connection, "MOST_OUT", 1)
 
-    async def test(app: App, node: DiameterServer) -> None:
+    async def test(app: GatewayApplication, node: DiameterServer) -> None:
         peer = await open_peer(app)
         peer[1].write(ccr(1) + ccr(2))
         got = await read_message(peer[0])
--- a/tests/gateway/diameter/test_golden_diameter.py
+++ b/tests/gateway/diameter/test_golden_diameter.py
@@ -9,11 +9,11 @@
 
 from tornado.iostream import IOStream
 
-from badgeryoke.gateway.actor import Turns
-from badgeryoke.gateway.attempt import End, Execution, Query
+from badgeryoke.gateway.actor import ActorScheduler
+from badgeryoke.gateway.attempt import Attempt, AttemptEnd, Request
 from badgeryoke.gateway.diameter import codec, upstream_connection
 from badgeryoke.gateway.diameter.codec import Avp, Code, Command, Message
-from badgeryoke.gateway.diameter.peer import Identity, Peer
+from badgeryoke.gateway.diameter.peer import Peer, PeerIdentity
 from tests.gateway.diameter.test_diameter import CLOSED, FAULTS
 from tests.gateway.resp.test_client_connection import play
 from tests.gateway.test_dispatcher import FakeLoop
@@ -23,27 +23,27 @@
 
 REQUESTS, ANSWERS = "diameter-ccr.txt", "diameter-answers.txt"
 PEER, SETTLED = "diameter-peer.txt", "diameter-settled.txt"
-ME = Identity("gw0.yoke.example", "yoke.example", "127.0.0.1", 1_790_000_000)
+ME = PeerIdentity("gw0.yoke.example", "yoke.example", "127.0.0.1", 1_790_000_000)
 WATCHDOG_S = 30.0
 FIRST_ID = 1000  # of the connection's requests; by chance where it is not set
 HEADER = 20
 
 # What a server is asked -------------------------------------------------------------------------------
 
-CCRS: tuple[tuple[str, Query, bool, int | None, bool], ...] = (
-    ("check", Query("r1", "read", "plain", 5, 900.0, 1.0, 2), True, 2, False),
+CCRS: tuple[tuple[str, Request, bool, int | None, bool], ...] = (
+    ("check", Request("r1", "read", "plain", 5, 900.0, 1.0, 2), True, 2, False),
     (
         "debit",
-        Query("r2", "write", "plain", 2**33 - 1, 900.0, 2.5, 3, key="5c0f6e1a2b3d4c59"),
+        Request("r2", "write", "plain", 2**33 - 1, 900.0, 2.5, 3, key="5c0f6e1a2b3d4c59"),
         False,
         1,
         False,
     ),
-    ("repeat", Query("r2", "write", "plain", 5, 900.0, 2.0, 3, key="5c0f6e1a2b3d4c59"), False, 1, True),
-    ("no service", Query("r3", "read", "plain", 0, 900.0, 0.4, 1), True, None, False),
+    ("repeat", Request("r2", "write", "plain", 5, 900.0, 2.0, 3, key="5c0f6e1a2b3d4c59"), False, 1, True),
+    ("no service", Request("r3", "read", "plain", 0, 900.0, 0.4, 1), True, None, False),
     (
         "with a value",
-        Query("r4", "write", "plain", 7, 900.0, 1e6, 1, key="k", body=b"BO\0DY"),
+        Request("r4", "write", "plain", 7, 900.0, 1e6, 1, key="k", body=b"BO\0DY"),
         False,
         3,
         False,
@@ -96,8 +96,8 @@
     """How attempts end by the answers."""
     lines = []
     for name, reply in REPLIES:
-        ends: list[End] = []
-        execution = Execution(CCRS[0][1], 0, 1, NOW_MS, NOW_MS + 900.0, lambda _, end: ends.append(end))  # noqa: B023
+        ends: list[AttemptEnd] = []
+        execution = Attempt(CCRS[0][1], 0, 1, NOW_MS, NOW_MS + 900.0, lambda _, end: ends.append(end))  # noqa: B023
         execution.written()
         complaint = upstream_connection.settle(execution, reply)
         lines.append(f"{name}: {canonical((ends, complaint))}")
@@ -157,7 +157,7 @@
 def opened_side() -> list[tuple[str, bytes]]:
     """What is written on a connection that the other side opened."""
     loop, stream = FakeLoop(), Stream()
-    peer = Peer(cast(IOStream, stream), ME, Turns(loop), WATCHDOG_S)
+    peer = Peer(cast(IOStream, stream), ME, ActorScheduler(loop), WATCHDOG_S)
     peer._next_id = FIRST_ID
     written = [
         ("CEA", received(peer, stream, cer())),
@@ -181,7 +181,7 @@
 def opening_side() -> list[tuple[str, bytes]]:
     """What is written on a connection that this side opened."""
     loop, stream = FakeLoop(), Stream()
-    peer = OpeningPeer(cast(IOStream, stream), ME, Turns(loop), WATCHDOG_S)
+    peer = OpeningPeer(cast(IOStream, stream), ME, ActorScheduler(loop), WATCHDOG_S)
     peer._next_id = FIRST_ID
     peer.deliver(peer.request, Command.CAPABILITIES_EXCHANGE, peer.capabilities())
     written = [("CER", b"".join(stream.written)), ("after CEA", received(peer, stream, CEA))]
@@ -202,7 +202,7 @@
     found = []
     for name, data in cases:
         stream = Stream()
-        peer = Peer(cast(IOStream, stream), ME, Turns(FakeLoop()), WATCHDOG_S)
+        peer = Peer(cast(IOStream, stream), ME, ActorScheduler(FakeLoop()), WATCHDOG_S)
         found.append((name, received(peer, stream, data)))
     return found
 
--- a/tests/gateway/discovery/test_notification_deadline.py
+++ b/tests/gateway/discovery/test_notification_deadline.py
@@ -13,10 +13,10 @@
 
 import pytest
 
-from badgeryoke.decisions.interface import Members, Scope, State
-from badgeryoke.gateway.actor import Turns
+from badgeryoke.decisions.interface import EndpointList, EndpointState, ListScope
+from badgeryoke.gateway.actor import ActorScheduler
 from badgeryoke.gateway.discovery import client as discovery_client
-from badgeryoke.gateway.discovery.client import HostGroup, Roster
+from badgeryoke.gateway.discovery.client import DiscoveryClient, EndpointSnapshot
 from tests.decisions.test_fleet_sums import most_in_a_window
 from tests.support.stand_ins import HOST, Standin, entry
 
@@ -110,18 +110,23 @@
         port: int,
         gateways: int,
         of: int = 0,
-        known: Roster | None = None,
+        known: EndpointSnapshot | None = None,
         draw: Callable[[], float] | None = None,
     ) -> None:
         loop = asyncio.get_running_loop()
-        self.heard: list[list[tuple[float, Members]]] = [[] for _ in range(gateways)]
+        self.heard: list[list[tuple[float, EndpointList]]] = [[] for _ in range(gateways)]
 
-        def told(own: list[tuple[float, Members]]) -> Callable[[Members, object], None]:
+        def told(own: list[tuple[float, EndpointList]]) -> Callable[[EndpointList, object], None]:
             return lambda members, _: own.append((loop.time(), members))
 
         self.groups = [
-            HostGroup(
-                (HOST, port), known, Turns(loop), told(own), of or gateways, draw or random.Random(n).random
+            DiscoveryClient(
+                (HOST, port),
+                known,
+                ActorScheduler(loop),
+                told(own),
+                of or gateways,
+                draw or random.Random(n).random,
             )
             for n, own in enumerate(self.heard)
         ]
@@ -131,7 +136,7 @@
     def last(self) -> float:
         """When the last gateway heard that a server had gone; raises StopIteration where one has not."""
         return max(
-            next(at for at, members in own if any(s.state is State.GONE for s in members.servers))
+            next(at for at, members in own if any(s.state is EndpointState.GONE for s in members.servers))
             for own in self.heard
         )
 
@@ -150,8 +155,8 @@
 def test_the_worst_sum_stays_under_the_clock(gateways: int) -> None:
     """A pause could take 5.4 s, and a try behind it 3 s more.  The last term is the try that is answered
     at once."""
-    group = HostGroup(
-        (HOST, 1), None, Turns(asyncio.new_event_loop()), lambda *_: None, gateways, lambda: 1.0
+    group = DiscoveryClient(
+        (HOST, 1), None, ActorScheduler(asyncio.new_event_loop()), lambda *_: None, gateways, lambda: 1.0
     )
     pause, again = max(group.pause() for _ in range(30)), group.pause(silent=True)
     behind_silence, later = group.pause(), group.pause()
@@ -262,7 +267,9 @@
                 agent.change(GONE)
                 await asyncio.sleep(0.1)
                 [(_, first), (_, then)] = watching.heard[0]
-                assert (first.scope, then.scope) == (Scope.FULL, Scope.CHANGES) and len(agent.calls) == 3
+                assert (first.scope, then.scope) == (ListScope.FULL, ListScope.CHANGES) and len(
+                    agent.calls
+                ) == 3
 
     play(test)
 
--- a/tests/gateway/discovery/test_responses.py
+++ b/tests/gateway/discovery/test_responses.py
@@ -13,10 +13,15 @@
 
 import pytest
 
-from badgeryoke.decisions.interface import Scope
+from badgeryoke.decisions.interface import ListScope
 from badgeryoke.gateway import actor
 from badgeryoke.gateway.discovery import client as discovery_client
-from badgeryoke.gateway.discovery.client import HostGroup, Response, Roster, read_roster
+from badgeryoke.gateway.discovery.client import (
+    DiscoveryClient,
+    EndpointSnapshot,
+    HttpResponse,
+    read_endpoint_snapshot,
+)
 from tests.gateway.discovery.test_notification_deadline import Watching, play
 from tests.gateway.resp.test_client_connection import ask
 from tests.support.stand_ins import HOST, Standin, config, entry, gateway, query, resp
@@ -302,7 +307,7 @@
 def test_what_an_endless_answer_holds_beside_its_body_is_bounded(first: bytes, again: bytes) -> None:
     """Behind a 1xx or a last chunk nothing was counted.  A read that finds more does not wait, so neither
     did any time limit end one."""
-    response: Any = Response()
+    response: Any = HttpResponse()
     with pytest.raises(ValueError, match="too large"):
         response.feed(first)
         for _ in range(10_000_000 // len(again)):
@@ -322,7 +327,7 @@
 
 
 REFUSED = says(b"HTTP/1.1 503 No room\r\nContent-Length: 0\r\n\r\n", keep=True)
-OLD = Roster(3, True, read_roster(json.loads(LIST)).hosts)
+OLD = EndpointSnapshot(3, True, read_endpoint_snapshot(json.loads(LIST)).hosts)
 DRAINS = json.dumps({"version": 9, "full": True, "servers": [entry("a", 1, "leaving")]}).encode()
 
 
@@ -330,10 +335,10 @@
     "act",
     [None, slowly(LIST, 99.0), slowly(LIST, 9.0), REFUSED, says(), resets(b"", 0.0), slowly(LIST, 1.0, 1.5)],
 )
-@pytest.mark.parametrize("known", [None, Roster(3, True, ()), OLD])
+@pytest.mark.parametrize("known", [None, EndpointSnapshot(3, True, ()), OLD])
 @pytest.mark.parametrize("gateways", [1, 200])
 def test_a_process_is_ready_in_time_whatever_discovery_does(
-    act: Act | None, known: Roster | None, gateways: int
+    act: Act | None, known: EndpointSnapshot | None, gateways: int
 ) -> None:
     """With no list known, or an empty one, nothing made it ready while discovery was silent or refused."""
 
@@ -379,7 +384,7 @@
             with Watching(agent.port, 1, of=200, known=OLD) as watching:
                 await asyncio.sleep(2.0)
                 [(_, members)] = watching.heard[0]
-                assert members.scope is Scope.FULL and watching.groups[0].ready
+                assert members.scope is ListScope.FULL and watching.groups[0].ready
 
     play(test)
 
@@ -398,7 +403,7 @@
         async with Script(well(LIST), changes(3, LEFT), well(LATER), changes(8)) as agent:
             with Watching(agent.port, 1) as watching:
                 await asyncio.sleep(1.0)
-                assert [m.scope for _, m in watching.heard[0]] == [Scope.FULL, Scope.FULL]
+                assert [m.scope for _, m in watching.heard[0]] == [ListScope.FULL, ListScope.FULL]
                 assert [call[2].partition("?")[2].partition("&")[0] for call in agent.calls[:5]] == [
                     "",
                     "after=7",
@@ -443,8 +448,8 @@
     play(test)
 
 
-@pytest.mark.parametrize("ends", [HostGroup.stop, lambda group: group.move((HOST, 1))])
-def test_a_close_from_this_side_ends_no_answer(ends: Callable[[HostGroup], None]) -> None:
+@pytest.mark.parametrize("ends", [DiscoveryClient.stop, lambda group: group.move((HOST, 1))])
+def test_a_close_from_this_side_ends_no_answer(ends: Callable[[DiscoveryClient], None]) -> None:
     """It looks like an orderly one: what has come of the old list is not to be taken in."""
 
     async def test() -> None:
--- a/tests/gateway/resp/test_client_connection.py
+++ b/tests/gateway/resp/test_client_connection.py
@@ -16,10 +16,10 @@
 from tornado.iostream import IOStream
 
 from badgeryoke.decisions import interface as api
-from badgeryoke.gateway.actor import Turns, WallClock
-from badgeryoke.gateway.application import App
-from badgeryoke.gateway.attempt import Query
-from badgeryoke.gateway.resp.client_connection import MOST_WAITING, ClientLink
+from badgeryoke.gateway.actor import ActorScheduler, WallClock
+from badgeryoke.gateway.application import GatewayApplication
+from badgeryoke.gateway.attempt import Request
+from badgeryoke.gateway.resp.client_connection import MOST_WAITING, RespClientConnection
 from tests.decisions.test_simulator_adapter import PARAMS
 from tests.support.paths import ROOT
 from tests.support.stand_ins import (
@@ -45,7 +45,7 @@
     asyncio.run(bounded())
 
 
-async def ask(app: App, *commands: bytes) -> list[object]:
+async def ask(app: GatewayApplication, *commands: bytes) -> list[object]:
     reader, writer = await connect(app.address)
     writer.write(b"".join(commands))
     answers = [await read_reply(reader) for _ in commands]
@@ -96,7 +96,7 @@
 
 
 def test_an_unkeyed_unsafe_attempt_that_may_have_run_is_not_sent_again() -> None:
-    unsafe = api.RequestClass("load-send", 30_000.0, 60_000.0, api.Effect.UNSAFE)
+    unsafe = api.RequestClass("load-send", 30_000.0, 60_000.0, api.Idempotency.NOT_IDEMPOTENT)
 
     async def test() -> None:
         async with Backend(script=[b"RESET"]) as node, Discovery(entry("a", node.port)) as list_:
@@ -135,7 +135,7 @@
 
 def test_a_silent_backend_costs_no_query_its_answer() -> None:
     async def test() -> None:
-        quick = api.RequestClass("balance-check", 1000.0, 1000.0, api.Effect.SAFE)
+        quick = api.RequestClass("balance-check", 1000.0, 1000.0, api.Idempotency.IDEMPOTENT)
         async with Backend(script=[None] * 3) as node, Discovery(entry("a", node.port)) as list_:
             made = config(list_.port, None, roster(entry("a", node.port)), classes=(quick,))
             async with gateway(made, WallClock(time.monotonic, time.time)) as app:
@@ -309,10 +309,10 @@
     class Core:
         taken = 0
 
-        def problem(self, query: Query) -> None:
+        def problem(self, query: Request) -> None:
             return None
 
-        def submit(self, query: Query, answer: object) -> Callable[[], None]:
+        def submit(self, query: Request, answer: object) -> Callable[[], None]:
             self.taken += 1
             return lambda: None
 
@@ -320,10 +320,10 @@
         ours, theirs = socket.socketpair()
         core = Core()
         stream = IOStream(ours)
-        link = ClientLink(
+        link = RespClientConnection(
             stream,
             core,  # type: ignore[arg-type]
-            Turns(asyncio.get_running_loop()),
+            ActorScheduler(asyncio.get_running_loop()),
             lambda: True,
             lambda _: None,
         )
--- a/tests/gateway/resp/test_connection_close.py
+++ b/tests/gateway/resp/test_connection_close.py
@@ -26,14 +26,14 @@
 from tornado.iostream import IOStream
 
 from badgeryoke.gateway import application as gateway_module
-from badgeryoke.gateway.actor import Turns, WallClock
-from badgeryoke.gateway.application import App
-from badgeryoke.gateway.attempt import Query
-from badgeryoke.gateway.dispatcher import Answer, Served
-from badgeryoke.gateway.graceful_shutdown import Event
+from badgeryoke.gateway.actor import ActorScheduler, WallClock
+from badgeryoke.gateway.application import GatewayApplication
+from badgeryoke.gateway.attempt import Request
+from badgeryoke.gateway.dispatcher import Response, Served
+from badgeryoke.gateway.graceful_shutdown import ShutdownEvent
 from badgeryoke.gateway.resp import listener as front_module
-from badgeryoke.gateway.resp.client_connection import MOST_WAITING, READ_AT_ONCE, ClientLink
-from badgeryoke.gateway.resp.listener import COMMAND_S, UNREAD_S, RespFront
+from badgeryoke.gateway.resp.client_connection import MOST_WAITING, READ_AT_ONCE, RespClientConnection
+from badgeryoke.gateway.resp.listener import COMMAND_S, UNREAD_S, RespListener
 from tests.decisions.test_simulator_adapter import PARAMS
 from tests.gateway.resp.test_client_connection import ask, play
 from tests.gateway.test_service import until
@@ -57,7 +57,7 @@
 LAST = b"*1\r\n$4\r\nlast\r\n"  # a backend's answer
 
 
-def client(app: App) -> socket.socket:
+def client(app: GatewayApplication) -> socket.socket:
     """A connection whose bytes lie in the gateway's socket when a call returns: no turn comes between."""
     made = socket.create_connection(app.address[:2])
     made.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -74,7 +74,7 @@
     return got
 
 
-async def linked(app: App) -> tuple[socket.socket, ClientLink]:
+async def linked(app: GatewayApplication) -> tuple[socket.socket, RespClientConnection]:
     """A client that has had its first answer, and the gateway's end of it."""
     made = client(app)
     made.sendall(query("first"))
@@ -84,7 +84,7 @@
     return made, list(app._front.links)[-1]
 
 
-def read(link: ClientLink) -> None:
+def read(link: RespClientConnection) -> None:
     """The event loop finds the socket readable; whoever waits for the reading goes on one round later."""
     link._stream._handle_events(link._stream.socket, IOLoop.READ)
 
@@ -130,10 +130,10 @@
 
     taken = 0
 
-    def problem(self, query: Query) -> None:
+    def problem(self, query: Request) -> None:
         return None
 
-    def submit(self, query: Query, answer: object) -> Callable[[], None]:
+    def submit(self, query: Request, answer: object) -> Callable[[], None]:
         self.taken += 1
         return lambda: None
 
@@ -145,10 +145,10 @@
         ours, theirs = socket.socketpair()
         core = Taking()
         stream = IOStream(ours)
-        link = ClientLink(
+        link = RespClientConnection(
             stream,
             core,  # type: ignore[arg-type]
-            Turns(asyncio.get_running_loop()),
+            ActorScheduler(asyncio.get_running_loop()),
             lambda: True,
             lambda _: None,
         )
@@ -170,14 +170,14 @@
 ) -> None:
     """560 queries of one write had their decisions in one turn, though their client was gone."""
     sizes: list[int] = []
-    taken: Any = ClientLink._take
+    taken: Any = RespClientConnection._take
 
-    def take(link: ClientLink, data: bytes) -> None:
+    def take(link: RespClientConnection, data: bytes) -> None:
         if not link._stream.closed():
             sizes.append(len(data))
         taken(link, data)
 
-    monkeypatch.setattr(ClientLink, "_take", take)
+    monkeypatch.setattr(RespClientConnection, "_take", take)
 
     async def test() -> None:
         async with one_gateway() as (app, _, _):
@@ -196,15 +196,15 @@
 def test_who_sends_on_and_on_leaves_others_their_turns(monkeypatch: pytest.MonkeyPatch) -> None:
     """What lies in a socket is read at once, without a round of the event loop: a flood of small writes
     kept it."""
-    taken: list[ClientLink] = []
-    take: Any = ClientLink._take
+    taken: list[RespClientConnection] = []
+    take: Any = RespClientConnection._take
     monkeypatch.setattr(front_module, "READ_AT_ONCE", 512)  # as small writes are read
 
-    def counted(link: ClientLink, data: bytes) -> None:
+    def counted(link: RespClientConnection, data: bytes) -> None:
         taken.append(link)
         take(link, data)
 
-    monkeypatch.setattr(ClientLink, "_take", counted)
+    monkeypatch.setattr(RespClientConnection, "_take", counted)
 
     async def test() -> None:
         async with one_gateway() as (app, _, _):
@@ -228,9 +228,9 @@
 
     async def test() -> None:
         async with one_gateway() as (app, _, _):
-            given: list[Callable[[Answer], None]] = []
+            given: list[Callable[[Response], None]] = []
 
-            def submit(_: Query, answer: Callable[[Answer], None]) -> Callable[[], None]:
+            def submit(_: Request, answer: Callable[[Response], None]) -> Callable[[], None]:
                 given.append(answer)
                 return lambda: None
 
@@ -271,12 +271,12 @@
     """A core whose answers are given by hand."""
 
     def __init__(self) -> None:
-        self.given: list[Callable[[Answer], None]] = []
+        self.given: list[Callable[[Response], None]] = []
 
-    def problem(self, _: Query) -> None:
+    def problem(self, _: Request) -> None:
         return None
 
-    def submit(self, _: Query, answer: Callable[[Answer], None]) -> Callable[[], None]:
+    def submit(self, _: Request, answer: Callable[[Response], None]) -> Callable[[], None]:
         self.given.append(answer)
         return lambda: None
 
@@ -286,11 +286,11 @@
 
 
 @contextlib.asynccontextmanager
-async def narrow() -> AsyncIterator[tuple[Unanswered, RespFront, socket.socket]]:
+async def narrow() -> AsyncIterator[tuple[Unanswered, RespListener, socket.socket]]:
     """A front before such a core, and a client of it; little fits between the two."""
     core: Any = Unanswered()
     hosts: Any = Ready()
-    front = RespFront(core, Turns(asyncio.get_running_loop()), 20, hosts, 10**9, 15)
+    front = RespListener(core, ActorScheduler(asyncio.get_running_loop()), 20, hosts, 10**9, 15)
     with socket.socket() as listening, socket.socket() as made:
         listening.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 8192)
         listening.bind((HOST, 0))
@@ -500,8 +500,8 @@
             waiting = [client(app) for _ in range(3)]
             for n, made in enumerate(waiting):
                 made.sendall(query(f"r{n}"))
-            app._drained(Event.TERM)
-            app._drained(Event.TURNED)
+            app._drained(ShutdownEvent.TERM)
+            app._drained(ShutdownEvent.TURNED)
             await node.books.arrived.wait()
             assert not app.done.is_set()
             await until(lambda: len(node.commands) == 3)
@@ -514,9 +514,9 @@
     play(test)
 
 
-@pytest.mark.parametrize("before", [Event.TERM, Event.SUCCEEDED])
+@pytest.mark.parametrize("before", [ShutdownEvent.TERM, ShutdownEvent.SUCCEEDED])
 def test_the_time_for_the_last_answers_counts_from_sigterm(
-    before: Event, monkeypatch: pytest.MonkeyPatch
+    before: ShutdownEvent, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Where a successor served already nothing had been waited for, and yet it was taken off."""
 
@@ -526,16 +526,16 @@
             monkeypatch.setattr(app._loop, "call_later", lambda wait, call, *_: later.append((wait, call)))
             monkeypatch.setattr(app._loop, "time", lambda: 100.0)
             app._config = replace(app._config, drain_s=0.45)
-            if before is Event.SUCCEEDED:
-                app._drained(Event.SUCCEEDED)
+            if before is ShutdownEvent.SUCCEEDED:
+                app._drained(ShutdownEvent.SUCCEEDED)
             app.end()
             monkeypatch.setattr(app._loop, "time", lambda: 100.25)
             app.end()
-            app._drained(Event.TURNED)
+            app._drained(ShutdownEvent.TURNED)
             [wait] = [wait for wait, call in later if call == app._wait_no_longer]
             monkeypatch.undo()
-            app._drained(Event.SETTLED)
-            waited = 0.25 if before is Event.TERM else 0.0
+            app._drained(ShutdownEvent.SETTLED)
+            waited = 0.25 if before is ShutdownEvent.TERM else 0.0
             assert wait == pytest.approx(gateway_module.KILL_COUNTS_S + gateway_module.KILL_MARGIN_S - waited)
 
     play(test)
--- a/tests/gateway/resp/test_golden_resp.py
+++ b/tests/gateway/resp/test_golden_resp.py
@@ -7,13 +7,13 @@
 import json
 
 from badgeryoke.decisions import interface as api
-from badgeryoke.gateway.actor import Turns
-from badgeryoke.gateway.attempt import End, Execution, Query
-from badgeryoke.gateway.dispatcher import Answer, Failed, Passing, Refused, Served
+from badgeryoke.gateway.actor import ActorScheduler
+from badgeryoke.gateway.attempt import Attempt, AttemptEnd, Request
+from badgeryoke.gateway.dispatcher import Failed, Rejected, Response, Served, Streaming
 from badgeryoke.gateway.quota_counter import client
 from badgeryoke.gateway.resp import client_connection, upstream_connection
-from badgeryoke.gateway.resp.codec import ErrorReply, Parser, Status, Value
-from badgeryoke.gateway.response_stream import WINDOW, Relay, Room
+from badgeryoke.gateway.resp.codec import ErrorReply, RespParser, Status, Value
+from badgeryoke.gateway.response_stream import WINDOW, BufferBudget, ResponseStream
 from tests.gateway.resp.test_client_connection import play
 from tests.gateway.test_service import until
 from tests.support.canonical import canonical
@@ -36,16 +36,16 @@
 
 # What clients are answered ----------------------------------------------------------------------------
 
-FINAL: tuple[tuple[str, Answer], ...] = (
+FINAL: tuple[tuple[str, Response], ...] = (
     ("served", Served(b"value", 2.0)),
     ("served, empty", Served(b"")),
     ("served, line ends", Served(b"a\r\nb\0")),
-    ("refused", Refused(20.4)),
-    ("refused, at once", Refused(0.0)),
-    ("refused, may have run", Refused(1e6, True)),
+    ("refused", Rejected(20.4)),
+    ("refused, at once", Rejected(0.0)),
+    ("refused, may have run", Rejected(1e6, True)),
     ("failed", Failed("may have run")),
     ("failed, line end in the detail", Failed("a\r\nb")),
-    ("a long value's head", Passing(Relay(100_000, Room(WINDOW)))),
+    ("a long value's head", Streaming(ResponseStream(100_000, BufferBudget(WINDOW)))),
 )
 GOOD_LIST = "c=balance-check,t=dealer,d=60000,units=1,spread=2,first=0"
 CUSTOMER = f"{5:016x}"
@@ -183,12 +183,17 @@
 
 # What servers are sent --------------------------------------------------------------------------------
 
-QUERIES: tuple[tuple[str, Query, bool, float], ...] = (
-    ("safe", Query("r1", "read", "plain", 5, 900.0, 1.0, 2), True, 899.2),
-    ("keyed", Query("r2", "write", "plain", 2**33 - 1, 900.0, 2.5, 3, 1, key="5c0f6e1a2b3d4c59"), False, 0.3),
-    ("retry", Query("r3", "write", "plain", 0, 900.0, 1 / 3, 1, 1, True, "k"), False, 1e6),
-    ("body", Query("r4", "read", "plain", 255, 900.0, 1e6, 1, body=b"BO\r\nDY\0"), True, 1.0),
-    ("empty body", Query("r5", "read", "plain", 255, 900.0, 0.0, 1, body=b""), True, -5.0),
+QUERIES: tuple[tuple[str, Request, bool, float], ...] = (
+    ("safe", Request("r1", "read", "plain", 5, 900.0, 1.0, 2), True, 899.2),
+    (
+        "keyed",
+        Request("r2", "write", "plain", 2**33 - 1, 900.0, 2.5, 3, 1, key="5c0f6e1a2b3d4c59"),
+        False,
+        0.3,
+    ),
+    ("retry", Request("r3", "write", "plain", 0, 900.0, 1 / 3, 1, 1, True, "k"), False, 1e6),
+    ("body", Request("r4", "read", "plain", 255, 900.0, 1e6, 1, body=b"BO\r\nDY\0"), True, 1.0),
+    ("empty body", Request("r5", "read", "plain", 255, 900.0, 0.0, 1, body=b""), True, -5.0),
 )
 REPLIES: tuple[tuple[str, Value], ...] = (
     ("whole", [b"value", b"used=1,cost=2.5", b"inflight=1,latency_ms=9"]),
@@ -232,13 +237,13 @@
 def cancelled_attempt() -> list[tuple[str, bytes]]:
     """All bytes of a connection whose attempt is cancelled: its end is what cancels."""
     written: list[tuple[str, bytes]] = []
-    ends: list[End] = []
+    ends: list[AttemptEnd] = []
 
     async def record() -> None:
         async with Recorder() as node:
-            link = upstream_connection.RespServerLink(
+            link = upstream_connection.RespUpstream(
                 (HOST, node.port),
-                Turns(asyncio.get_running_loop()),
+                ActorScheduler(asyncio.get_running_loop()),
                 lambda: NOW_MS,
                 report_names=(),
                 connect_ms=5000.0,
@@ -246,7 +251,7 @@
                 most=4,
             )
             out = asyncio.Event()
-            execution = Execution(
+            execution = Attempt(
                 QUERIES[1][1],
                 0,
                 1,
@@ -270,8 +275,8 @@
     """How attempts end by what came back for them."""
     lines = []
     for name, reply in REPLIES:
-        ends: list[End] = []
-        execution = Execution(QUERIES[0][1], 0, 1, NOW_MS, NOW_MS + 900.0, lambda _, end: ends.append(end))  # noqa: B023
+        ends: list[AttemptEnd] = []
+        execution = Attempt(QUERIES[0][1], 0, 1, NOW_MS, NOW_MS + 900.0, lambda _, end: ends.append(end))  # noqa: B023
         execution.written()
         left = upstream_connection.settle(execution, reply, ("latency_ms", "inflight"), 6.0)
         lines.append(f"{name}: {canonical((ends, left))}")
@@ -349,5 +354,5 @@
 def test_what_is_written_for_a_server_is_read_back_whole() -> None:
     """The golden bytes are sound RESP2: the parser of the other side finds one command in each."""
     for _, asked, safe, left in QUERIES:
-        [command] = Parser().feed(upstream_connection.encode(asked, safe, left))
+        [command] = RespParser().feed(upstream_connection.encode(asked, safe, left))
         assert isinstance(command, list) and command[2] == asked.id.encode()
--- a/tests/gateway/resp/test_retries.py
+++ b/tests/gateway/resp/test_retries.py
@@ -20,13 +20,13 @@
 
 from badgeryoke.decisions import interface as api
 from badgeryoke.decisions.interface import Verdict
-from badgeryoke.decisions.policy.engine import Gateway
+from badgeryoke.decisions.policy.engine import DecisionEngine
 from badgeryoke.gateway import actor
-from badgeryoke.gateway.actor import Turns, new_socket
-from badgeryoke.gateway.attempt import End, Execution, Query
-from badgeryoke.gateway.dispatcher import Answer, Core
+from badgeryoke.gateway.actor import ActorScheduler, new_socket
+from badgeryoke.gateway.attempt import Attempt, AttemptEnd, Request
+from badgeryoke.gateway.dispatcher import Dispatcher, Response
 from badgeryoke.gateway.resp import upstream_connection
-from badgeryoke.gateway.resp.upstream_connection import BEGUN_MS, RespServerLink
+from badgeryoke.gateway.resp.upstream_connection import BEGUN_MS, RespUpstream
 from tests.gateway.resp.test_client_connection import ask, play
 from tests.gateway.test_dispatcher import KEYED, UNSAFE, NoCounter
 from tests.gateway.test_service import until
@@ -46,8 +46,8 @@
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
         self.now = NOW_MS
         self.ends: list[tuple[str, Verdict, bytes]] = []
-        self.loop = Turns(asyncio.get_running_loop())
-        self.link = RespServerLink(
+        self.loop = ActorScheduler(asyncio.get_running_loop())
+        self.link = RespUpstream(
             (HOST, self.listener.getsockname()[1]),
             self.loop,
             lambda: self.now,
@@ -58,14 +58,14 @@
         )
         self.taken: list[socket.socket] = []
 
-    def start(self, rid: str, body: bytes | None = None, write_by_ms: float = float("inf")) -> Execution:
-        asked = Query(rid, "once", "plain", 7, 60_000.0, 1.0, 2, safe=False, body=body)
-        one = Execution(asked, 0, 1, self.now, self.now + 60_000.0, self._ended, write_by_ms=write_by_ms)
+    def start(self, rid: str, body: bytes | None = None, write_by_ms: float = float("inf")) -> Attempt:
+        asked = Request(rid, "once", "plain", 7, 60_000.0, 1.0, 2, safe=False, body=body)
+        one = Attempt(asked, 0, 1, self.now, self.now + 60_000.0, self._ended, write_by_ms=write_by_ms)
         self.link.start(one)
         self.loop.run()
         return one
 
-    def _ended(self, execution: Execution, end: End) -> None:
+    def _ended(self, execution: Attempt, end: AttemptEnd) -> None:
         self.ends.append((execution.query.id, end.verdict, end.value))
 
     async def accept(self) -> socket.socket:
@@ -95,7 +95,7 @@
         self.ends.clear()
         return made
 
-    async def stuck(self, **more: Any) -> tuple[Execution, socket.socket]:
+    async def stuck(self, **more: Any) -> tuple[Attempt, socket.socket]:
         """An attempt that is out in part."""
         one = self.start("long", LONG, **more)
         made = await self.accept()
@@ -271,8 +271,8 @@
     async def mailbox() -> None:
         async with node() as at:
             made = await at.idle()
-            asked = Query("r1", "once", "plain", 7, 60_000.0, 1.0, 2, safe=False)
-            one = Execution(asked, 0, 1, at.now, at.now + 60_000.0, at._ended)
+            asked = Request("r1", "once", "plain", 7, 60_000.0, 1.0, 2, safe=False)
+            one = Attempt(asked, 0, 1, at.now, at.now + 60_000.0, at._ended)
             at.link.start(one)
             one.abandon(Verdict.CANCELLED, final=True)
             at.start("r2")
@@ -302,8 +302,8 @@
 
     async def test() -> None:
         async with node() as at:
-            one = Execution(
-                Query("r1", "once", "plain", 7, 60_000.0, 1.0, 2, safe=False),
+            one = Attempt(
+                Request("r1", "once", "plain", 7, 60_000.0, 1.0, 2, safe=False),
                 0,
                 1,
                 at.now,
@@ -317,7 +317,7 @@
             await at.idle()
             used_at = at.link._idle[0].used_at
             at.now += 1000.0
-            one = Execution(one.query, 1, 1, at.now, at.now + 60_000.0, at._ended)
+            one = Attempt(one.query, 1, 1, at.now, at.now + 60_000.0, at._ended)
             at.link.start(one)
             one.abandon(Verdict.CANCELLED, final=True)
             at.loop.run()
@@ -336,7 +336,7 @@
                 at.start(f"r{n}")
             at.now += 60_000.0
             await until(lambda: len(at.ends) == 1500)
-            assert {end[1] for end in at.ends} == {Verdict.MOOT} and not at.link._waiting
+            assert {end[1] for end in at.ends} == {Verdict.NOT_SENT} and not at.link._waiting
 
     play(test)
 
@@ -495,12 +495,12 @@
 @contextlib.asynccontextmanager
 async def core(
     monkeypatch: pytest.MonkeyPatch, decide: Callable[[api.Event], list[api.Action]]
-) -> AsyncIterator[tuple[Core, Node, Node, list[Answer]]]:
+) -> AsyncIterator[tuple[Dispatcher, Node, Node, list[Response]]]:
     """A core before two servers, whose module is the test's."""
-    monkeypatch.setattr(Gateway, "handle", lambda self, now, event: decide(event))
+    monkeypatch.setattr(DecisionEngine, "handle", lambda self, now, event: decide(event))
     async with node() as first, node() as second:
         second.loop = second.link._loop = first.loop
-        made = Core(
+        made = Dispatcher(
             settings(has_counter=False, classes=(KEYED, UNSAFE)),
             1,
             first.loop,
@@ -508,8 +508,8 @@
             lambda number: {1: first, 2: second}[number].link,
             NoCounter(),
         )
-        answers: list[Answer] = []
-        made.submit(Query("r1", "load-send", "free", 5, 2000.0, 1.0, 1, key="k"), answers.append)
+        answers: list[Response] = []
+        made.submit(Request("r1", "load-send", "free", 5, 2000.0, 1.0, 1, key="k"), answers.append)
         first.loop.run()
         yield made, first, second, answers
 
@@ -517,13 +517,13 @@
 def test_the_attempt_given_up_has_ended_before_the_next_is_written(monkeypatch: pytest.MonkeyPatch) -> None:
     """A time-out of its own ended an attempt outside the core's turn: where the next server's link had
     mail already, the next attempt was written before the first one's connection was closed."""
-    sends = {1: api.Send("1", 1, 500.0), 2: api.Send("1", 2, 500.0)}
+    sends = {1: api.SendAttempt("1", 1, 500.0), 2: api.SendAttempt("1", 2, 500.0)}
 
     def decide(event: api.Event) -> list[api.Action]:
         match event:
             case api.Request():
                 return [sends[1]]
-            case api.Outcome(verdict=Verdict.TIMEOUT, attempt=0):
+            case api.AttemptOutcome(verdict=Verdict.TIMEOUT, attempt=0):
                 return [sends[2]]
         return []
 
--- a/tests/gateway/test_connecting.py
+++ b/tests/gateway/test_connecting.py
@@ -10,11 +10,11 @@
 import pytest
 from tornado.iostream import StreamClosedError
 
-from badgeryoke.decisions.interface import Total, Verdict
-from badgeryoke.gateway.actor import Turns, dial, on_close
-from badgeryoke.gateway.attempt import End, Execution, Query, Stage
-from badgeryoke.gateway.quota_counter.client import CounterLink
-from badgeryoke.gateway.resp.upstream_connection import RespServerLink
+from badgeryoke.decisions.interface import CounterReply, Verdict
+from badgeryoke.gateway.actor import ActorScheduler, dial, on_close
+from badgeryoke.gateway.attempt import Attempt, AttemptEnd, AttemptStage, Request
+from badgeryoke.gateway.quota_counter.client import QuotaCounterClient
+from badgeryoke.gateway.resp.upstream_connection import RespUpstream
 from tests.gateway.resp.test_client_connection import play
 from tests.support.stand_ins import HOST, NOW_MS
 
@@ -34,24 +34,26 @@
 
 def test_an_attempt_on_a_connection_that_never_comes_up_was_never_written(silent: int) -> None:
     async def test() -> None:
-        ends: asyncio.Queue[End] = asyncio.Queue()
-        loop = Turns(asyncio.get_running_loop())
-        link = RespServerLink(
+        ends: asyncio.Queue[AttemptEnd] = asyncio.Queue()
+        loop = ActorScheduler(asyncio.get_running_loop())
+        link = RespUpstream(
             (HOST, silent), loop, lambda: NOW_MS, report_names=(), connect_ms=60.0, idle_ms=1000.0, most=4
         )
-        asked = Query("a1", "read", "plain", 7, 4000.0, 1.0, 2, safe=True)
-        link.start(Execution(asked, 0, 1, NOW_MS, NOW_MS + 4000.0, lambda _, end: ends.put_nowait(end)))
+        asked = Request("a1", "read", "plain", 7, 4000.0, 1.0, 2, safe=True)
+        link.start(Attempt(asked, 0, 1, NOW_MS, NOW_MS + 4000.0, lambda _, end: ends.put_nowait(end)))
         end = await asyncio.wait_for(ends.get(), 5)  # without this a fault would only show as a hang
-        assert (end.verdict, end.reached) == (Verdict.CONNECT_FAILED, Stage.NOT_WRITTEN)
+        assert (end.verdict, end.reached) == (Verdict.CONNECT_FAILED, AttemptStage.NOT_WRITTEN)
 
     play(test)
 
 
 def test_a_counter_call_on_a_connection_that_never_comes_up_added_nothing(silent: int) -> None:
     async def test() -> None:
-        totals: asyncio.Queue[Total] = asyncio.Queue()
+        totals: asyncio.Queue[CounterReply] = asyncio.Queue()
         now = [NOW_MS]
-        link = CounterLink((HOST, silent), 50.0, Turns(asyncio.get_running_loop()), lambda: now[0])
+        link = QuotaCounterClient(
+            (HOST, silent), 50.0, ActorScheduler(asyncio.get_running_loop()), lambda: now[0]
+        )
         link.open()
         link.add(7, 1.0, 1000.0, totals.put_nowait)
         await asyncio.sleep(0.01)
--- a/tests/gateway/test_counter_and_discovery.py
+++ b/tests/gateway/test_counter_and_discovery.py
@@ -7,10 +7,10 @@
 
 import pytest
 
-from badgeryoke.decisions.interface import Members, Scope, State, Total, Verdict
-from badgeryoke.gateway.actor import Turns
-from badgeryoke.gateway.discovery.client import HostGroup, Roster
-from badgeryoke.gateway.quota_counter.client import CounterLink
+from badgeryoke.decisions.interface import CounterReply, EndpointList, EndpointState, ListScope, Verdict
+from badgeryoke.gateway.actor import ActorScheduler
+from badgeryoke.gateway.discovery.client import DiscoveryClient, EndpointSnapshot
+from badgeryoke.gateway.quota_counter.client import QuotaCounterClient
 from tests.gateway.resp.test_client_connection import play
 from tests.support.stand_ins import HOST, NOW_MS, Counter, Discovery, entry, roster
 
@@ -20,11 +20,13 @@
 
     def __init__(self, port: int, timeout_ms: float = 50.0) -> None:
         self.now = NOW_MS
-        self.got: asyncio.Queue[Total] = asyncio.Queue()
-        self.link = CounterLink((HOST, port), timeout_ms, Turns(asyncio.get_running_loop()), lambda: self.now)
+        self.got: asyncio.Queue[CounterReply] = asyncio.Queue()
+        self.link = QuotaCounterClient(
+            (HOST, port), timeout_ms, ActorScheduler(asyncio.get_running_loop()), lambda: self.now
+        )
         self.link.open()
 
-    async def call(self, name: int, units: float = 1.0) -> Total:
+    async def call(self, name: int, units: float = 1.0) -> CounterReply:
         self.link.add(name, units, 1000.0, self.got.put_nowait)
         return await self.got.get()
 
@@ -57,8 +59,8 @@
 @pytest.mark.parametrize(
     ("answer", "verdict"),
     [
-        (b"-BUSY\r\n", Verdict.FULL),
-        (b"-ERR no such call\r\n", Verdict.FULL),
+        (b"-BUSY\r\n", Verdict.QUEUE_FULL),
+        (b"-ERR no such call\r\n", Verdict.QUEUE_FULL),
         (b"$3\r\nabc\r\n", Verdict.TIMEOUT),
         (b"!!\r\n", Verdict.TIMEOUT),
         (b"$1\r\n4\r\n$1\r\n4\r\n", Verdict.OK),
@@ -127,12 +129,12 @@
 class Watch:
     """A host group and what it told."""
 
-    def __init__(self, port: int, known: Roster | None = None) -> None:
-        self.told: asyncio.Queue[tuple[Members, dict[int, Any]]] = asyncio.Queue()
-        self.group = HostGroup(
+    def __init__(self, port: int, known: EndpointSnapshot | None = None) -> None:
+        self.told: asyncio.Queue[tuple[EndpointList, dict[int, Any]]] = asyncio.Queue()
+        self.group = DiscoveryClient(
             (HOST, port),
             known,
-            Turns(asyncio.get_running_loop()),
+            ActorScheduler(asyncio.get_running_loop()),
             lambda members, hosts: self.told.put_nowait((members, hosts)),
             1,
             lambda: 0.5,
@@ -146,16 +148,16 @@
             port = absent.port
         watch = Watch(port, roster(entry("a", 9)))
         first, hosts = await watch.told.get()
-        assert first.scope is Scope.WARM_COPY and [h.address[1] for h in hosts.values()] == [9]
+        assert first.scope is ListScope.CACHED and [h.address[1] for h in hosts.values()] == [9]
         list_ = Discovery(entry("a", 1), entry("b", 2))
         list_.port = port
         async with list_:
             full, hosts = await watch.told.get()
-            assert full.scope is Scope.FULL and len(hosts) == 2
+            assert full.scope is ListScope.FULL and len(hosts) == 2
             assert full.servers[0].id == first.servers[0].id  # the same name keeps its number
             list_.change({"id": "a", "state": "left"})
             change, hosts = await watch.told.get()
-            assert (change.scope, change.servers[0].state) == (Scope.CHANGES, State.GONE)
+            assert (change.scope, change.servers[0].state) == (ListScope.CHANGES, EndpointState.GONE)
             assert [h.id for h in hosts.values()] == ["b"]
             while len(list_.calls) < 3:
                 await asyncio.sleep(0)
@@ -174,12 +176,14 @@
         async with Discovery(entry("a", 1, "leaving")) as list_:
             watch = Watch(list_.port, roster(entry("a", 1)))
             first, _ = await watch.told.get()
-            assert first.scope is Scope.FULL and [s.state for s in first.servers] == [State.DRAINING]
+            assert first.scope is ListScope.FULL and [s.state for s in first.servers] == [
+                EndpointState.DRAINING
+            ]
             watch.group.stop()
         async with Silent() as agent:  # discovery is down
             watch = Watch(agent.port, roster(entry("a", 1)))
             first, _ = await watch.told.get()
-            assert first.scope is Scope.WARM_COPY
+            assert first.scope is ListScope.CACHED
             watch.group.stop()
 
     play(test)
@@ -192,7 +196,7 @@
             list_.raw.append(body)
             watch = Watch(list_.port)
             members, _ = await watch.told.get()
-            assert members.scope is Scope.FULL and len(members.servers) == 1 and list_.connections == 2
+            assert members.scope is ListScope.FULL and len(members.servers) == 1 and list_.connections == 2
             watch.group.stop()
 
     play(test)
--- a/tests/gateway/test_dispatcher.py
+++ b/tests/gateway/test_dispatcher.py
@@ -11,17 +11,19 @@
 import pytest
 
 from badgeryoke.decisions import interface as api
-from badgeryoke.decisions.policy.engine import Gateway
-from badgeryoke.gateway.actor import Actor, Turns, WallClock
-from badgeryoke.gateway.application import App
-from badgeryoke.gateway.attempt import Execution, Query, Stage
-from badgeryoke.gateway.dispatcher import Answer, Core, Failed, Refused, Served
+from badgeryoke.decisions.policy.engine import DecisionEngine
+from badgeryoke.gateway.actor import Actor, ActorScheduler, WallClock
+from badgeryoke.gateway.application import GatewayApplication
+from badgeryoke.gateway.attempt import Attempt, AttemptStage, Request
+from badgeryoke.gateway.dispatcher import Dispatcher, Failed, Rejected, Response, Served
 from tests.support import samples
 from tests.support.stand_ins import NOW_MS, settings
 
-AIM = api.RequestClass("balance-check", 400.0, 2000.0, api.Effect.SAFE)
-KEYED = api.RequestClass("load-send", 750.0, 2000.0, api.Effect.KEYED, api.Group.ALL, 1000.0)
-UNSAFE = api.RequestClass("once", 750.0, 2000.0, api.Effect.UNSAFE)
+AIM = api.RequestClass("balance-check", 400.0, 2000.0, api.Idempotency.IDEMPOTENT)
+KEYED = api.RequestClass(
+    "load-send", 750.0, 2000.0, api.Idempotency.WITH_KEY, api.DeduplicationScope.ALL, 1000.0
+)
+UNSAFE = api.RequestClass("once", 750.0, 2000.0, api.Idempotency.NOT_IDEMPOTENT)
 
 
 class Handle:
@@ -68,9 +70,9 @@
     """A server link that keeps what it was given."""
 
     def __init__(self) -> None:
-        self.executions: list[Execution] = []
+        self.executions: list[Attempt] = []
 
-    def start(self, execution: Execution) -> None:
+    def start(self, execution: Attempt) -> None:
         self.executions.append(execution)
 
 
@@ -85,29 +87,33 @@
     def __init__(self, **changes: Any) -> None:
         self.loop, self.link = FakeLoop(), Link()
         made = settings(has_counter=False, classes=(AIM, KEYED, UNSAFE), **changes)
-        self.core = Core(made, 1, Turns(self.loop), self.loop.clock, lambda _: self.link, NoCounter())
-        self.core.members(api.Members(api.Scope.FULL, (api.Server(1, "a", "std", 0, api.State.UP),)))
-        self.answers: list[Answer] = []
+        self.core = Dispatcher(
+            made, 1, ActorScheduler(self.loop), self.loop.clock, lambda _: self.link, NoCounter()
+        )
+        self.core.members(
+            api.EndpointList(api.ListScope.FULL, (api.Server(1, "a", "std", 0, api.EndpointState.UP),))
+        )
+        self.answers: list[Response] = []
         self.asked = 0
 
     def ask(self, cls: str = "balance-check", d: float = 2000.0, **more: Any) -> Callable[[], None]:
         self.asked += 1
-        asked = Query(f"r{self.asked}", cls, "free", 5, d, 1.0, 1, **more)
+        asked = Request(f"r{self.asked}", cls, "free", 5, d, 1.0, 1, **more)
         left = self.core.submit(asked, self.answers.append)
         self.loop.run()
         return left
 
     @property
-    def last(self) -> Execution:
+    def last(self) -> Attempt:
         return self.link.executions[-1]
 
 
 def test_an_answer_that_has_begun_takes_none_of_what_servers_bear() -> None:
     """Long values held the places of queries that servers had room for."""
     made = samples.gateway(has_counter=False)
-    [sent] = samples.only(made.handle(samples.START, samples.request("a", spread=1)), api.Send)
+    [sent] = samples.only(made.handle(samples.START, samples.request("a", spread=1)), api.SendAttempt)
     assert made._fleet._out == 1 and made._fleet._peers[sent.server].out
-    made.handle(samples.START + 10.0, api.Started("a"))
+    made.handle(samples.START + 10.0, api.ResponseStarted("a"))
     assert made._fleet._out == 0 and not made._fleet._peers[sent.server].out
     made.handle(samples.START + 900.0, samples.outcome(sent, api.Verdict.OK, rtt=10.0))
     assert made._fleet._out == 0 and not made._jobs
@@ -126,10 +132,10 @@
 SILENT_CASES = pytest.mark.parametrize(
     ("cls", "written", "kind"),
     [
-        pytest.param("balance-check", True, Refused, id="safe"),
-        pytest.param("load-send", True, Refused, id="keyed at all servers"),
+        pytest.param("balance-check", True, Rejected, id="safe"),
+        pytest.param("load-send", True, Rejected, id="keyed at all servers"),
         pytest.param("once", True, Failed, id="unsafe, written whole"),
-        pytest.param("once", False, Refused, id="unsafe, never written whole"),
+        pytest.param("once", False, Rejected, id="unsafe, never written whole"),
     ],
 )
 
@@ -150,7 +156,7 @@
         _loop=bench.loop,
         _drained=lambda event: None,
     )
-    App._wait_no_longer(gateway)  # type: ignore[arg-type]
+    GatewayApplication._wait_no_longer(gateway)  # type: ignore[arg-type]
     bench.loop.run(0.01)
     assert [type(answer) for answer in bench.answers] == [kind] and not bench.core.unanswered
 
@@ -166,49 +172,51 @@
     assert bench.last.ended and not bench.core.unanswered
 
 
-@pytest.mark.parametrize("event", [api.Request, api.Outcome, api.Left])
+@pytest.mark.parametrize("event", [api.Request, api.AttemptOutcome, api.ClientDisconnected])
 def test_a_module_fault_costs_no_query_its_answer(event: type, monkeypatch: pytest.MonkeyPatch) -> None:
-    real = Gateway.handle
+    real = DecisionEngine.handle
 
-    def faulty(self: Gateway, now: float, got: api.Event) -> list[api.Action]:
+    def faulty(self: DecisionEngine, now: float, got: api.Event) -> list[api.Action]:
         if isinstance(got, event):
             raise ValueError("a fault")
         return real(self, now, got)
 
-    monkeypatch.setattr(Gateway, "handle", faulty)
+    monkeypatch.setattr(DecisionEngine, "handle", faulty)
     bench = Bench()
     bench.ask()
     if bench.link.executions:
         bench.last.written()
         bench.last.error("ERR failed")
     bench.loop.run(3.0)
-    assert len(bench.answers) == 1 and (bench.core.faults > 0 or event is api.Left)
+    assert len(bench.answers) == 1 and (bench.core.faults > 0 or event is api.ClientDisconnected)
 
 
 def test_a_module_that_decides_nothing_is_answered_for(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(Gateway, "handle", lambda *_: [])
+    monkeypatch.setattr(DecisionEngine, "handle", lambda *_: [])
     bench = Bench()
     bench.ask()
     bench.loop.run(1.99)
-    assert [type(answer) for answer in bench.answers] == [Refused]
+    assert [type(answer) for answer in bench.answers] == [Rejected]
 
 
 def test_one_attempt_at_a_time_and_none_after_the_answer(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(
-        Gateway,
+        DecisionEngine,
         "handle",
         lambda self, now, got: (
-            [api.Send(got.id, 1, 500.0), api.Send(got.id, 1, 500.0)] if isinstance(got, api.Request) else []
+            [api.SendAttempt(got.id, 1, 500.0), api.SendAttempt(got.id, 1, 500.0)]
+            if isinstance(got, api.Request)
+            else []
         ),
     )
     bench = Bench()
     bench.ask()
     assert len(bench.link.executions) == 1
     monkeypatch.setattr(
-        Gateway,
+        DecisionEngine,
         "handle",
         lambda self, now, got: (
-            [api.Refuse(got.id), api.Send(got.id, 1, 500.0)] if isinstance(got, api.Request) else []
+            [api.Reject(got.id), api.SendAttempt(got.id, 1, 500.0)] if isinstance(got, api.Request) else []
         ),
     )
     bench.ask()
@@ -232,7 +240,7 @@
     bench.last.written()
     bench.last.lost("reset")
     bench.loop.run()
-    assert isinstance(bench.answers[0], Refused) and bench.answers[0].may_have_run
+    assert isinstance(bench.answers[0], Rejected) and bench.answers[0].may_have_run
 
 
 def test_a_repeat_is_not_sent_after_its_window() -> None:
@@ -258,22 +266,22 @@
     first: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Whichever comes first counts, and the module hears of the same."""
-    outcomes: list[api.Outcome] = []
-    real = Gateway.handle
+    outcomes: list[api.AttemptOutcome] = []
+    real = DecisionEngine.handle
 
-    def heard(self: Gateway, now: float, got: api.Event) -> list[api.Action]:
-        if isinstance(got, api.Outcome):
+    def heard(self: DecisionEngine, now: float, got: api.Event) -> list[api.Action]:
+        if isinstance(got, api.AttemptOutcome):
             outcomes.append(got)
         return real(self, now, got)
 
-    monkeypatch.setattr(Gateway, "handle", heard)
+    monkeypatch.setattr(DecisionEngine, "handle", heard)
     bench = Bench()
     left = bench.ask("once")
     one = bench.last
     one.written()
     steps: dict[str, Callable[[], object]] = {
         "answer": lambda: one.served(b"value"),
-        "cancel": lambda: bench.core.post(bench.core._act, 0.0, api.Cancel("1", 0)),
+        "cancel": lambda: bench.core.post(bench.core._act, 0.0, api.CancelAttempt("1", 0)),
         "deadline": lambda: bench.core.post(bench.core._overdue, bench.core._running["1"]),
         "client leaves": left,
     }
@@ -306,7 +314,7 @@
     if waits:  # for its contract's turn
         bench.core._guarantee = SimpleNamespace(draw=lambda run: False, waits=wait)  # type: ignore[assignment]
         bench.ask("once")
-    safe = replace(UNSAFE, effect=api.Effect.SAFE)
+    safe = replace(UNSAFE, idempotency=api.Idempotency.IDEMPOTENT)
     bench.core.retune(settings(has_counter=False, classes=(AIM, KEYED, safe)))
     if waits:
         bench.core.post(bench.core._turn, turn[0])
@@ -317,52 +325,52 @@
         execution.written()
         execution.lost("reset")
     bench.loop.run()
-    assert not bench.link.executions and [type(answer) for answer in bench.answers] == [Refused]
+    assert not bench.link.executions and [type(answer) for answer in bench.answers] == [Rejected]
 
 
 def test_the_last_word_on_a_full_core() -> None:
     bench = Bench()
     bench.core._running.update({str(-n): None for n in range(1, 10_001)})  # type: ignore[misc]
     bench.ask()
-    assert isinstance(bench.answers[0], Refused) and not bench.link.executions
+    assert isinstance(bench.answers[0], Rejected) and not bench.link.executions
 
 
 def test_bodies_are_bounded() -> None:
     bench = Bench()
     for _ in range(600):
         bench.ask(body=b"x" * 65_536)
-    assert sum(isinstance(answer, Refused) for answer in bench.answers) >= 600 - 512
+    assert sum(isinstance(answer, Rejected) for answer in bench.answers) >= 600 - 512
 
 
 @pytest.mark.parametrize(
     ("stage", "method", "verdict"),
     [
-        (Stage.NOT_WRITTEN, "lost", api.Verdict.CONNECT_FAILED),
-        (Stage.WRITTEN, "lost", api.Verdict.RESET),
-        (Stage.NOT_WRITTEN, "turned_away", api.Verdict.FULL),
-        (Stage.WRITTEN, "error", api.Verdict.ERROR),
-        (Stage.WRITTEN, "abandon", api.Verdict.TIMEOUT),
-        (Stage.NOT_WRITTEN, "abandon", api.Verdict.CONNECT_FAILED),
+        (AttemptStage.NOT_WRITTEN, "lost", api.Verdict.CONNECT_FAILED),
+        (AttemptStage.WRITTEN, "lost", api.Verdict.RESET),
+        (AttemptStage.NOT_WRITTEN, "turned_away", api.Verdict.QUEUE_FULL),
+        (AttemptStage.WRITTEN, "error", api.Verdict.ERROR),
+        (AttemptStage.WRITTEN, "abandon", api.Verdict.TIMEOUT),
+        (AttemptStage.NOT_WRITTEN, "abandon", api.Verdict.CONNECT_FAILED),
         ("begun", "abandon", api.Verdict.TIMEOUT),  # the rest may go out before the link hears of it
         ("begun", "lost", api.Verdict.CONNECT_FAILED),
     ],
 )
 def test_an_end_carries_how_far_the_attempt_had_come(stage: Any, method: str, verdict: api.Verdict) -> None:
     ends: list[Any] = []
-    one = Execution(Query("r", "c", "p", 1, 1.0, 1.0, 1), 0, 1, 0.0, 1.0, lambda _, end: ends.append(end))
-    if stage is Stage.WRITTEN:
+    one = Attempt(Request("r", "c", "p", 1, 1.0, 1.0, 1), 0, 1, 0.0, 1.0, lambda _, end: ends.append(end))
+    if stage is AttemptStage.WRITTEN:
         one.written()
-    one.begun = stage != Stage.NOT_WRITTEN
+    one.begun = stage != AttemptStage.NOT_WRITTEN
     getattr(one, method)(api.Verdict.TIMEOUT if method == "abandon" else "why")
     one.lost("a second end does not count")
-    reached = Stage.NOT_WRITTEN if stage == "begun" else stage
+    reached = AttemptStage.NOT_WRITTEN if stage == "begun" else stage
     assert [(end.verdict, end.reached) for end in ends] == [(verdict, reached)]
 
 
 def test_a_message_that_fails_costs_none_behind_it() -> None:
     loop = FakeLoop()
     done: list[int] = []
-    actor = Actor(Turns(loop))
+    actor = Actor(ActorScheduler(loop))
     actor.post(done.remove, 7)
     actor.post(done.append, 1)
     loop.run()
@@ -392,7 +400,7 @@
         bench.core.lagged(300.0)
     for _ in range(100):
         bench.ask()
-    refused = [answer for answer in bench.answers if isinstance(answer, Refused)]
+    refused = [answer for answer in bench.answers if isinstance(answer, Rejected)]
     assert len(refused) >= 80 and all(answer.retry_after_ms > 0 for answer in refused)
     for _ in range(50):
         bench.core.lagged(0.0)
--- a/tests/gateway/test_faults_by_stage.py
+++ b/tests/gateway/test_faults_by_stage.py
@@ -16,9 +16,9 @@
 import pytest
 
 from badgeryoke.decisions import interface as api
-from badgeryoke.decisions.policy.engine import Gateway
+from badgeryoke.decisions.policy.engine import DecisionEngine
 from badgeryoke.gateway import actor
-from badgeryoke.gateway.application import App
+from badgeryoke.gateway.application import GatewayApplication
 from tests.gateway.resp.test_client_connection import play
 from tests.gateway.test_service import until
 from tests.support.stand_ins import (
@@ -37,7 +37,7 @@
     roster,
 )
 
-ONCE = api.RequestClass("once", 30_000.0, 60_000.0, api.Effect.UNSAFE)
+ONCE = api.RequestClass("once", 30_000.0, 60_000.0, api.Idempotency.NOT_IDEMPOTENT)
 BURST = 12  # of plan "small", which nothing refills while the clock stands
 BODY = "x" * 60_000
 
@@ -90,14 +90,16 @@
         self.app = self.start()
         self.told: list[bytes | str] = []  # answers of the query, in full
 
-    def start(self) -> App:
-        app = App(self.made, lambda: self.now, lambda: replace(self.made, counter=(HOST, self.moved.port)))
+    def start(self) -> GatewayApplication:
+        app = GatewayApplication(
+            self.made, lambda: self.now, lambda: replace(self.made, counter=(HOST, self.moved.port))
+        )
         app.start()
         return app
 
     @property
-    def module(self) -> Gateway:
-        return cast(Gateway, self.app.core._module)
+    def module(self) -> DecisionEngine:
+        return cast(DecisionEngine, self.app.core._module)
 
     async def ask(self, rid: str, units: int = 1, **more: Any) -> Any:
         reader, writer = await connect(self.app.address)
--- a/tests/gateway/test_golden_admin.py
+++ b/tests/gateway/test_golden_admin.py
@@ -6,9 +6,9 @@
 
 from badgeryoke.gateway.admin import server
 from badgeryoke.gateway.admin.rendering import Gauges, render
-from badgeryoke.gateway.application import App
-from badgeryoke.gateway.graceful_shutdown import State
-from badgeryoke.gateway.metrics import COMPLETED, FAILED, REJECTED, Figures
+from badgeryoke.gateway.application import GatewayApplication
+from badgeryoke.gateway.graceful_shutdown import ShutdownState
+from badgeryoke.gateway.metrics import COMPLETED, FAILED, REJECTED, Metrics
 from tests.gateway.resp.test_client_connection import ask, play
 from tests.gateway.test_service import until
 from tests.support.golden_files import assert_golden, golden, text_lines
@@ -30,7 +30,7 @@
 
 def figures() -> str:
     """All figures of a fixed state, also of a class whose name has to be escaped."""
-    made = Figures(["read", "write"])
+    made = Metrics(["read", "write"])
     made.add_classes(['odd "name"\\', "two\nlines\r", "read"])
     made.ended["read"][COMPLETED] = 11
     made.ended["read"][REJECTED] = 12
@@ -99,7 +99,7 @@
 
 def states() -> list[str]:
     """The words for the states of the drain, as STATUS gives them."""
-    return [f"state {state.value}" for state in State]
+    return [f"state {state.value}" for state in ShutdownState]
 
 
 def test_each_call_gets_the_golden_answer() -> None:
@@ -109,7 +109,7 @@
 # On sockets -------------------------------------------------------------------------------------------
 
 
-async def called(app: App, line: bytes) -> bytes:
+async def called(app: GatewayApplication, line: bytes) -> bytes:
     """All of an answer, to the connection's end."""
     reader, writer = await connect(app.mgmt_address)
     writer.write(line)
@@ -137,7 +137,7 @@
                 await ask(app, query("w", "load-send", key="1" * 16))
                 await call(b"METRICS\n")
                 await call(b"PAUSE\n")
-                await until(lambda: app._drain.state is State.PAUSED)
+                await until(lambda: app._drain.state is ShutdownState.PAUSED)
                 await call(b"STATUS\n")
                 lines.append(f"client, paused: {await ask(app, resp('PING'))!r}")
                 await call(b"RESUME\n")
--- a/tests/gateway/test_golden_cli.py
+++ b/tests/gateway/test_golden_cli.py
@@ -91,7 +91,8 @@
 
 
 def result_folder() -> bytes:
-    """The files of a run, the comparison of two, and the page written anew; the checkout's commit left out."""
+    """The files of a run, the comparison of two, and the page written anew; the checkout's commit left
+    out."""
     Path("golden.scm").write_text(SCENARIO)
     said = [
         called("lab", "sim", "golden.scm", "--jobs", "1", "--to", "one", "--json"),
--- a/tests/gateway/test_golden_hot_restart.py
+++ b/tests/gateway/test_golden_hot_restart.py
@@ -9,7 +9,7 @@
 
 from badgeryoke.decisions import interface as api
 from badgeryoke.decisions import state_snapshot
-from badgeryoke.decisions.policy.engine import Gateway
+from badgeryoke.decisions.policy.engine import DecisionEngine
 from badgeryoke.gateway.hot_restart import transfer
 from tests.gateway.resp.test_client_connection import play
 from tests.support import policy_drive, samples
@@ -29,22 +29,22 @@
 
 def driven() -> policy_drive.Drive:
     """A module whose ledgers, servers, quota and choice among servers have all been in use."""
-    gateway = Gateway(policy_drive.SETTINGS, FIRST_SEED)
-    gateway.handle(samples.START, api.Members(api.Scope.WARM_COPY, policy_drive.SERVERS))
+    gateway = DecisionEngine(policy_drive.SETTINGS, FIRST_SEED)
+    gateway.handle(samples.START, api.EndpointList(api.ListScope.CACHED, policy_drive.SERVERS))
     drive = policy_drive.Drive(gateway, FIRST_SEED, samples.START)
-    drive.schedule(policy_drive.FRESH_AT, api.Members(api.Scope.CHANGES, (policy_drive.FRESH,)))
+    drive.schedule(policy_drive.FRESH_AT, api.EndpointList(api.ListScope.CHANGES, (policy_drive.FRESH,)))
     drive.play(EVENTS)
     forgetful = gateway._quota._ledgers[8]
     forgetful.epoch, forgetful.last_epoch = 3, 2  # as after a counter that had forgotten
     return drive
 
 
-def encoded(gateway: Gateway, names: dict[int, str]) -> bytes:
+def encoded(gateway: DecisionEngine, names: dict[int, str]) -> bytes:
     """The state of a module as it goes to the successor."""
-    return state_snapshot.encode(state_snapshot.give(gateway, names))
+    return state_snapshot.encode(state_snapshot.take_snapshot(gateway, names))
 
 
-def decoded(state: bytes) -> state_snapshot.Handed:
+def decoded(state: bytes) -> state_snapshot.StateSnapshot:
     """The state as the successor reads it."""
     head, body = state.split(b"\n", 1)
     checksum, length = state_snapshot.read_head(head)
@@ -54,12 +54,12 @@
 
 def successor(state: bytes, now: float) -> policy_drive.Drive:
     """A fresh module that goes on from a state, with its first actions under way."""
-    gateway = Gateway(policy_drive.SETTINGS, SECOND_SEED)
+    gateway = DecisionEngine(policy_drive.SETTINGS, SECOND_SEED)
     numbered = tuple(
         samples.server(NUMBERS[name], "a" if number in (1, 2, 5) else "b") for number, name in NAMES.items()
     )
-    gateway.handle(now, api.Members(api.Scope.WARM_COPY, numbered))
-    actions = state_snapshot.take(gateway, now, decoded(state), NUMBERS)
+    gateway.handle(now, api.EndpointList(api.ListScope.CACHED, numbered))
+    actions = state_snapshot.restore_snapshot(gateway, now, decoded(state), NUMBERS)
     drive = policy_drive.Drive(gateway, SECOND_SEED, now)
     drive.answer(actions)
     return drive
@@ -122,17 +122,17 @@
         self._why_not = why_not
         self.told = asyncio.Event()
 
-    def give(self) -> state_snapshot.Handed | str:
+    def give(self) -> state_snapshot.StateSnapshot | str:
         return self._why_not or decoded(golden(STATE))
 
-    def succeeded(self, handed: state_snapshot.Handed) -> None:
+    def succeeded(self, handed: state_snapshot.StateSnapshot) -> None:
         self.told.set()
 
 
 async def refused_by_giver(folder: Path, predecessor: Predecessor, line: bytes) -> bytes:
     """What the old process answers to a line that it does not go by."""
     path = folder / "refusing.sock"
-    giver = transfer.Giver(path, predecessor)
+    giver = transfer.SnapshotSender(path, predecessor)
     await giver.listen()
     reader, writer = await asyncio.open_unix_connection(str(path))
     writer.write(line)
@@ -146,7 +146,7 @@
     """What the old process writes to a successor that asks, and to a second one meanwhile."""
     path = folder / "giving.sock"
     predecessor = Predecessor()
-    giver = transfer.Giver(path, predecessor)
+    giver = transfer.SnapshotSender(path, predecessor)
     await giver.listen()
     reader, writer = await asyncio.open_unix_connection(str(path))
     writer.write(b"TAKE 2\n")
@@ -177,7 +177,7 @@
 
     server = await asyncio.start_unix_server(give, str(path))
     ended = asyncio.Event()
-    taker = transfer.Taker(path)
+    taker = transfer.SnapshotReceiver(path)
     handed = await taker.ask()
     assert handed is not None and state_snapshot.encode(handed) == golden(STATE)
     await taker.serving(ended.set)
--- a/tests/gateway/test_golden_settings.py
+++ b/tests/gateway/test_golden_settings.py
@@ -12,7 +12,7 @@
 from badgeryoke.decisions.settings_parser import settings_from, unknown
 from badgeryoke.gateway.config.operators_file import OperatorsError, read_operators
 from badgeryoke.gateway.config.platform_file import ConfigError, read_config, read_diameter
-from badgeryoke.gateway.discovery.client import read_roster
+from badgeryoke.gateway.discovery.client import read_endpoint_snapshot
 from tests.decisions.test_settings_parser import FULL, USED, placed
 from tests.gateway.test_reload import at
 from tests.support.golden_files import assert_golden, text_lines
@@ -221,7 +221,7 @@
     """Of a list of servers, as discovery gives it or as the platform's file holds it."""
     raw = {"version": 1, "full": True, "servers": [entry("a", 1)]}
     paths = ["version", "full", "servers", *(f"servers.0.{key}" for key in ENTRY_KEYS)]
-    return [line for path in paths for line in about(path, raw, VALUES, read_roster)]
+    return [line for path in paths for line in about(path, raw, VALUES, read_endpoint_snapshot)]
 
 
 def test_what_is_said_of_settings() -> None:
--- a/tests/gateway/test_hot_restart.py
+++ b/tests/gateway/test_hot_restart.py
@@ -16,9 +16,9 @@
 
 from badgeryoke.decisions import interface as api
 from badgeryoke.decisions import state_snapshot
-from badgeryoke.gateway.application import App
+from badgeryoke.gateway.application import GatewayApplication
 from badgeryoke.gateway.config.platform_file import Config
-from badgeryoke.gateway.graceful_shutdown import State
+from badgeryoke.gateway.graceful_shutdown import ShutdownState
 from badgeryoke.gateway.hot_restart import transfer
 from tests.gateway.resp.test_client_connection import play
 from tests.gateway.test_service import until
@@ -48,7 +48,7 @@
     made._quota._chance = 1.0
     totals: dict[int, float] = {}
     actions = samples.admit(made, samples.START, samples.request("a", units=2.0), totals)
-    [sent] = samples.only(actions, api.Send)
+    [sent] = samples.only(actions, api.SendAttempt)
     made.handle(samples.START + 40.0, samples.outcome(sent, api.Verdict.OK, rtt=40.0))
     made._quota._ledgers[7].owed = 1.5
     capped = samples.request("c", plan="capped", customer=8)
@@ -59,12 +59,12 @@
 def test_a_successor_goes_on_from_the_same_stores_and_servers() -> None:
     old, server = used()
     now = samples.START + 50.0
-    handed = state_snapshot.give(old, {n: f"s{n}" for n in range(1, 5)})
+    handed = state_snapshot.take_snapshot(old, {n: f"s{n}" for n in range(1, 5)})
     line, body = state_snapshot.encode(handed).split(b"\n", 1)
     checksum, length = state_snapshot.read_head(line)
     assert length == len(body)
     new = samples.gateway()
-    actions = state_snapshot.take(
+    actions = state_snapshot.restore_snapshot(
         new, now, state_snapshot.decode(body, checksum), {f"s{n}": n for n in range(1, 5)}
     )
     before, after = old._quota._ledgers[7], new._quota._ledgers[7]
@@ -76,19 +76,19 @@
         before.owed,
     )
     assert new._fleet._peers[server].latency == old._fleet._peers[server].latency
-    [wake] = samples.only(actions, api.Wake)  # what is owed is reported though nobody asks
-    [count] = samples.only(new.handle(wake.at_ms, api.Due(wake.token)), api.Count)
+    [wake] = samples.only(actions, api.SetTimer)  # what is owed is reported though nobody asks
+    [count] = samples.only(new.handle(wake.at_ms, api.TimerFired(wake.token)), api.AddToCounter)
     assert count.units == 1.5
-    state_snapshot.given(old, handed)
+    state_snapshot.mark_transferred(old, handed)
     assert before.owed == 0.0  # and reported once
     assert old._quota._ledgers[8].head.room(now) == -math.inf  # the headroom is the successor's
 
 
 def test_what_does_not_fit_the_settings_is_left_out() -> None:
     old, _ = used()
-    handed = state_snapshot.give(old, {})
+    handed = state_snapshot.take_snapshot(old, {})
     new = samples.gateway(plans=(replace(samples.PLAIN, burst=40.0),))  # another period, and one plan less
-    assert state_snapshot.take(new, samples.START, handed, {}) == [] and not new._quota._ledgers
+    assert state_snapshot.restore_snapshot(new, samples.START, handed, {}) == [] and not new._quota._ledgers
 
 
 @pytest.mark.parametrize(
@@ -102,7 +102,7 @@
     ],
 )
 def test_a_spoilt_or_unknown_state_is_not_taken(spoil: Any) -> None:
-    head, body = state_snapshot.encode(state_snapshot.give(used()[0], {1: "s1"})).split(b"\n", 1)
+    head, body = state_snapshot.encode(state_snapshot.take_snapshot(used()[0], {1: "s1"})).split(b"\n", 1)
     head, body = spoil(head, body)
     with pytest.raises(ValueError):
         state_snapshot.decode(body, state_snapshot.read_head(head)[0])
@@ -127,14 +127,14 @@
         listening.close()
 
 
-async def started(made: Config) -> App:
-    app = App(made, lambda: NOW_MS)
+async def started(made: Config) -> GatewayApplication:
+    app = GatewayApplication(made, lambda: NOW_MS)
     app.start()
     await until(lambda: app.status()[0] and app._giver is not None and app._giver.ready)
     return app
 
 
-async def ended(*apps: App) -> None:
+async def ended(*apps: GatewayApplication) -> None:
     for app in apps:
         app.end()
         await app.done.wait()
@@ -169,7 +169,7 @@
                 before = asked
                 await until(lambda: asked > before + 5 or any(one.done() for one in clients))  # noqa: B023
                 fresh = await started(made)
-                await until(lambda: app._drain.state is State.YIELDING)  # noqa: B023
+                await until(lambda: app._drain.state is ShutdownState.YIELDING)  # noqa: B023
                 assert fresh.core._module._quota._ledgers.keys() == {5}  # type: ignore[attr-defined]
                 await ended(app)
                 app = fresh
@@ -196,7 +196,7 @@
                 head = b"STATE %d " % state_snapshot.VERSION if said.startswith(TAKE) else b"ERR "
                 assert (await asyncio.wait_for(reader.readline(), 5.0)).startswith(head)
             writer.transport.abort()
-            assert await ask_once(app.address, "r") == b"value" and app._drain.state is State.SERVING
+            assert await ask_once(app.address, "r") == b"value" and app._drain.state is ShutdownState.SERVING
             await ended(app)
 
     play(test)
@@ -246,7 +246,7 @@
             made = replace(made, name="../n 0" * 20)
             app = await started(made)
             fresh = await started(made)
-            await until(lambda: app._drain.state is State.YIELDING)
+            await until(lambda: app._drain.state is ShutdownState.YIELDING)
             await ended(app, fresh)
         assert os.listdir(folder) == []
 
--- a/tests/gateway/test_operations.py
+++ b/tests/gateway/test_operations.py
@@ -15,10 +15,16 @@
 
 from badgeryoke.gateway.admin import server as management_front
 from badgeryoke.gateway.admin.rendering import Gauges, render
-from badgeryoke.gateway.application import App
+from badgeryoke.gateway.application import GatewayApplication
 from badgeryoke.gateway.config.platform_file import ConfigError, read_config
-from badgeryoke.gateway.graceful_shutdown import TRANSITIONS, Drain, Effect, Event, State
-from badgeryoke.gateway.metrics import Figures
+from badgeryoke.gateway.graceful_shutdown import (
+    TRANSITIONS,
+    GracefulShutdown,
+    ShutdownEffect,
+    ShutdownEvent,
+    ShutdownState,
+)
+from badgeryoke.gateway.metrics import Metrics
 from badgeryoke.gateway.resp import client_connection as client_link_module
 from tests.decisions.test_simulator_adapter import PARAMS
 from tests.gateway.resp.test_client_connection import ask, play
@@ -40,7 +46,7 @@
 @asynccontextmanager
 async def operated(
     script: list[bytes | None] | None = None, drain_s: float = 0.0, with_counter: bool = False
-) -> AsyncIterator[tuple[App, Backend]]:
+) -> AsyncIterator[tuple[GatewayApplication, Backend]]:
     """A gateway with a second address before one backend."""
     async with (
         Backend(script=script) as node,
@@ -52,7 +58,7 @@
             yield app, node
 
 
-async def call(app: App, line: bytes = b"STATUS\n", half_close: bool = False) -> list[str]:
+async def call(app: GatewayApplication, line: bytes = b"STATUS\n", half_close: bool = False) -> list[str]:
     """All lines of one answer, to the connection's end."""
     reader, writer = await connect(app.mgmt_address)
     writer.write(line)
@@ -63,7 +69,7 @@
     return lines
 
 
-async def figures(app: App) -> dict[str, int]:
+async def figures(app: GatewayApplication) -> dict[str, int]:
     first, *lines, last = await call(app, b"METRICS\n")
     assert (first, last) == ("+OK", ".")
     return {name: int(count) for name, count in (line.rsplit(" ", 1) for line in lines)}
@@ -151,7 +157,7 @@
 
 
 def test_labels_are_escaped_and_a_dropped_class_keeps_its_counts() -> None:
-    made = Figures(['a"\n\\'])
+    made = Metrics(['a"\n\\'])
     made.add_classes(["b"])
     text = render(made, Gauges(1, 2, 3))
     assert 'lb_downstream_requests{lane="a\\"\\n\\\\",result="completed"} 0\n' in text
@@ -205,34 +211,34 @@
 
 def test_the_drain_ends_in_one_way_from_every_state() -> None:
     """Whatever came before, SIGTERM and its timers lead to the end; and nothing leads back from there."""
-    for start in State:
-        drain = Drain()
+    for start in ShutdownState:
+        drain = GracefulShutdown()
         drain.state = start
         for event in (
-            Event.PAUSE,
-            Event.TERM,
-            Event.RESUME,
-            Event.TURNED,
-            Event.PAUSE,
-            Event.EMPTY,
-            Event.RESUME,
-            Event.SETTLED,
+            ShutdownEvent.PAUSE,
+            ShutdownEvent.TERM,
+            ShutdownEvent.RESUME,
+            ShutdownEvent.TURNED,
+            ShutdownEvent.PAUSE,
+            ShutdownEvent.EMPTY,
+            ShutdownEvent.RESUME,
+            ShutdownEvent.SETTLED,
         ):
             drain.post(event)
-        assert drain.state is State.ENDED and drain.ending
-    leaves = {state for state, event in TRANSITIONS if Effect.LEAVE in TRANSITIONS[state, event][1]}
-    assert leaves == {State.CLOSING, State.SETTLING}
+        assert drain.state is ShutdownState.ENDED and drain.ending
+    leaves = {state for state, event in TRANSITIONS if ShutdownEffect.LEAVE in TRANSITIONS[state, event][1]}
+    assert leaves == {ShutdownState.CLOSING, ShutdownState.SETTLING}
 
 
 def test_a_timer_of_an_earlier_round_does_nothing() -> None:
-    drain = Drain()
-    drain.post(Event.PAUSE)
+    drain = GracefulShutdown()
+    drain.post(ShutdownEvent.PAUSE)
     old = drain.round
-    drain.post(Event.RESUME)
-    drain.post(Event.PAUSE)
-    assert drain.post(Event.TURNED, old) == ()
-    assert drain.post(Event.TURNED, drain.round) == (Effect.CLOSE_LINKS,)
-    assert drain.post(Event.PAUSE) == () and drain.state.value == "drained"
+    drain.post(ShutdownEvent.RESUME)
+    drain.post(ShutdownEvent.PAUSE)
+    assert drain.post(ShutdownEvent.TURNED, old) == ()
+    assert drain.post(ShutdownEvent.TURNED, drain.round) == (ShutdownEffect.CLOSE_LINKS,)
+    assert drain.post(ShutdownEvent.PAUSE) == () and drain.state.value == "drained"
 
 
 def test_pause_sends_clients_away_between_requests_and_resume_takes_them_again() -> None:
--- a/tests/gateway/test_parsers.py
+++ b/tests/gateway/test_parsers.py
@@ -12,11 +12,11 @@
 from badgeryoke.decisions.interface import Settings
 from badgeryoke.gateway.config.platform_file import ConfigError, read_config, read_diameter
 from badgeryoke.gateway.diameter import codec
-from badgeryoke.gateway.diameter.duplicate_requests import Identity, Repeats
-from badgeryoke.gateway.discovery.client import Response, read_roster
+from badgeryoke.gateway.diameter.duplicate_requests import DuplicateRequests, RequestIdentity
+from badgeryoke.gateway.discovery.client import HttpResponse, read_endpoint_snapshot
 from badgeryoke.gateway.quota_counter.client import encode as encode_call
 from badgeryoke.gateway.quota_counter.client import read_total
-from badgeryoke.gateway.resp.codec import ErrorReply, Parser, Status, bulk, command, error
+from badgeryoke.gateway.resp.codec import ErrorReply, RespParser, Status, bulk, command, error
 from tests.decisions.test_simulator_adapter import PARAMS
 from tests.support.paths import ROOT
 from tests.support.stand_ins import avp, avps, ccr, entry
@@ -32,9 +32,9 @@
 
 @pytest.mark.parametrize(("data", "values"), RESP)
 def test_resp_is_read_whole_and_byte_by_byte(data: bytes, values: list[Any]) -> None:
-    whole = Parser()
+    whole = RespParser()
     assert whole.feed(data) == values and whole.idle
-    pieces = Parser()
+    pieces = RespParser()
     got = [value for n in range(len(data)) for value in pieces.feed(data[n : n + 1])]
     assert got == values and [type(v) for v in got] == [type(v) for v in values] and pieces.idle
 
@@ -56,14 +56,14 @@
     ],
 )
 def test_what_is_no_resp_or_passes_a_bound_is_told(data: bytes) -> None:
-    parser = Parser()
+    parser = RespParser()
     assert parser.feed(b"+OK\r\n" + data) == [Status(b"OK")]  # what was whole before it counts
     assert parser.fault and parser.feed(b"+OK\r\n") == []
 
 
 def test_resp_is_written_so_that_it_reads_back() -> None:
     words = [b"SVC.QUERY", b"", b"\r\n"]
-    assert Parser().feed(command(words) + bulk(b"v") + error("ERR two\r\nlines")) == [
+    assert RespParser().feed(command(words) + bulk(b"v") + error("ERR two\r\nlines")) == [
         words,
         b"v",
         ErrorReply(b"ERR two lines"),
@@ -84,7 +84,7 @@
 def test_commands_that_come_whole_are_read_as_those_in_pieces_are(tail: bytes) -> None:
     """They take a shorter way through the parser."""
     data = command([b"SVC.QUERY", b"", b"\r\n$1"]) + command([b"x" * 100]) + tail
-    whole, pieces = Parser(), Parser()
+    whole, pieces = RespParser(), RespParser()
     in_pieces = [value for n in range(len(data)) for value in pieces.feed(data[n : n + 1])]
     assert whole.feed(data) == in_pieces and whole.idle == pieces.idle and whole.held == pieces.held
     assert whole.feed(b"$1\r\nx\r\n" * 2) == pieces.feed(b"$1\r\nx\r\n" * 2)
@@ -100,7 +100,7 @@
     ],
 )
 def test_the_short_way_knows_the_same_bounds(data: bytes) -> None:
-    parser = Parser(max_total=100)
+    parser = RespParser(max_total=100)
     assert parser.feed(data) == [] and parser.fault
 
 
@@ -122,7 +122,7 @@
 
 @pytest.mark.parametrize(("data", "keep"), HTTP)
 def test_an_http_response_is_read_in_any_pieces(data: bytes, keep: bool) -> None:
-    response = Response()
+    response = HttpResponse()
     assert [response.feed(data[n : n + 1]) for n in range(len(data))] == [False] * (len(data) - 1) + [True]
     assert (response.status, bytes(response.body), response.keep) == (200, BODY, keep)
 
@@ -141,7 +141,7 @@
 )
 def test_a_malformed_http_response_is_told(data: bytes) -> None:
     with pytest.raises(ValueError):
-        Response().feed(data)
+        HttpResponse().feed(data)
 
 
 @pytest.mark.parametrize(
@@ -167,7 +167,7 @@
 )
 def test_a_malformed_list_is_told(raw: Any) -> None:
     with pytest.raises(ValueError):
-        read_roster(raw)
+        read_endpoint_snapshot(raw)
 
 
 @pytest.mark.parametrize(
@@ -179,7 +179,7 @@
 
 
 def test_a_counter_call_is_in_bounds() -> None:
-    assert Parser().feed(encode_call(7, -2.5, 1e6) + encode_call(7, 0.0, 0.0)) == [
+    assert RespParser().feed(encode_call(7, -2.5, 1e6) + encode_call(7, 0.0, 0.0)) == [
         [b"INCRTTL", b"7", b"-2.5", b"60000"],
         [b"INCRTTL", b"7", b"0", b"1"],
     ]
@@ -216,26 +216,26 @@
 
 
 def test_the_key_derives_from_the_identity_alone_and_from_all_of_it() -> None:
-    one = Identity("h", 1, "s", 0)
+    one = RequestIdentity("h", 1, "s", 0)
     others = [
-        Identity("h2", 1, "s", 0),
-        Identity("h", 2, "s", 0),
-        Identity("h", 1, "t", 0),
-        Identity("h", 1, "s", 1),
-        Identity("h1", 1, "s", 0),
+        RequestIdentity("h2", 1, "s", 0),
+        RequestIdentity("h", 2, "s", 0),
+        RequestIdentity("h", 1, "t", 0),
+        RequestIdentity("h", 1, "s", 1),
+        RequestIdentity("h1", 1, "s", 0),
     ]
-    assert one.key() == Identity("h", 1, "s", 0).key() == "47218e1462e4d40f"
+    assert one.key() == RequestIdentity("h", 1, "s", 0).key() == "47218e1462e4d40f"
     assert len({one.key(), *(other.key() for other in others)}) == 6
 
 
 def test_answers_are_kept_for_their_time_and_in_bounds() -> None:
     at = [0.0]
-    repeats = Repeats(240.0, lambda: at[0], most=1)
+    repeats = DuplicateRequests(240.0, lambda: at[0], most=1)
     from badgeryoke.gateway.dispatcher import Failed
 
-    first = Identity("h", 1, "s", 0)
+    first = RequestIdentity("h", 1, "s", 0)
     entry_ = repeats.begin(first)
-    assert entry_ is not None and repeats.begin(Identity("h", 2, "t", 0)) is None  # full
+    assert entry_ is not None and repeats.begin(RequestIdentity("h", 2, "t", 0)) is None  # full
     repeats.end(entry_, Failed("x"), keep=True)
     at[0] = 239.0
     assert repeats.find(first) is entry_
--- a/tests/gateway/test_quota_counter_faults.py
+++ b/tests/gateway/test_quota_counter_faults.py
@@ -15,11 +15,11 @@
 
 import pytest
 
-from badgeryoke.decisions.interface import Total, Verdict
+from badgeryoke.decisions.interface import CounterReply, Verdict
 from badgeryoke.gateway import actor
 from badgeryoke.gateway.actor import new_socket
 from badgeryoke.gateway.quota_counter import client as counter_module
-from badgeryoke.gateway.quota_counter.client import FROZEN_TIMES, MOST_CALLS, CounterLink
+from badgeryoke.gateway.quota_counter.client import FROZEN_TIMES, MOST_CALLS, QuotaCounterClient
 from tests.gateway.resp.test_client_connection import play
 from tests.gateway.test_counter_and_discovery import Calls
 from tests.gateway.test_service import until
@@ -28,7 +28,7 @@
 LINGER_0 = struct.pack("ii", 1, 0)
 
 
-def empty(link: CounterLink) -> bool:
+def empty(link: QuotaCounterClient) -> bool:
     """Whether the link holds nothing but its connection."""
     open_calls = [call for call in link._timed if call.done is not None]
     return not (link._unwritten or open_calls or any(one.calls for one in link._all)) and len(link._all) <= 1
@@ -240,13 +240,13 @@
             ends: Tally[int] = Tally()
             verdicts: Tally[Verdict] = Tally()
 
-            def done(total: Total) -> None:
+            def done(total: CounterReply) -> None:
                 ends[total.name] += 1
                 verdicts[total.verdict] += 1
 
             for n in range(MOST_CALLS + 40):
                 calls.link.add(100 + n, 1.0, 1000.0, done)
-            await until(lambda: counter.totals["100"] and verdicts[Verdict.FULL] == 40)
+            await until(lambda: counter.totals["100"] and verdicts[Verdict.QUEUE_FULL] == 40)
             if silent == "reset":
                 await close(counter, True)
             elif silent == "left behind":
@@ -258,7 +258,7 @@
             calls.now += 50.0 * FROZEN_TIMES
             await until(lambda: empty(calls.link) and counter.connections + moved.connections == 2)
             assert set(ends.values()) == {1} and len(ends) == MOST_CALLS + 40
-            assert verdicts == {Verdict.FULL: 40, Verdict.TIMEOUT: MOST_CALLS}
+            assert verdicts == {Verdict.QUEUE_FULL: 40, Verdict.TIMEOUT: MOST_CALLS}
             counter.held.set()
             await calls.up()
             calls.link.close()
--- a/tests/gateway/test_reload.py
+++ b/tests/gateway/test_reload.py
@@ -13,7 +13,7 @@
 
 from badgeryoke.decisions import interface as api
 from badgeryoke.decisions.plan_schedule.plan_change import replan
-from badgeryoke.gateway.application import App
+from badgeryoke.gateway.application import GatewayApplication
 from badgeryoke.gateway.config.platform_file import Config, ConfigError, lacking, read_config, shape
 from tests.decisions.test_simulator_adapter import PARAMS
 from tests.gateway.resp.test_client_connection import ask, play
@@ -100,7 +100,7 @@
 async def reloading(new: Callable[[Config], Config], test: Any, *nodes: Backend) -> None:
     async with nodes[0] as node, Discovery(entry("a", node.port)) as list_:
         made = config(list_.port, None, roster(entry("a", node.port)))
-        app = App(made, lambda: NOW_MS, lambda: new(made))
+        app = GatewayApplication(made, lambda: NOW_MS, lambda: new(made))
         app.start()
         await until(lambda: app._hosts.ready)
         try:
@@ -113,14 +113,14 @@
 def test_classes_come_go_and_change_effect_while_open_queries_keep_theirs() -> None:
     """`load-send` becomes safe to repeat, `balance-check` goes, `fresh` comes, one attempt is left."""
     classes = (
-        replace(KEYED, effect=api.Effect.SAFE, deadline_ms=70_000.0),
-        api.RequestClass("fresh", 30_000.0, 60_000.0, api.Effect.SAFE),
+        replace(KEYED, idempotency=api.Idempotency.IDEMPOTENT, deadline_ms=70_000.0),
+        api.RequestClass("fresh", 30_000.0, 60_000.0, api.Idempotency.IDEMPOTENT),
     )
 
     def new(made: Config) -> Config:
         return replace(made, settings=made_settings(classes=classes, has_counter=False, max_attempts=1))
 
-    async def test(app: App, node: Backend) -> None:
+    async def test(app: GatewayApplication, node: Backend) -> None:
         reader, writer = await connect(app.address)
         writer.write(query("open", "load-send", key="k"))
         await until(lambda: len(node.commands) == 1)
@@ -143,7 +143,7 @@
     def new(made: Config) -> Config:
         return replace(made, settings=made_settings(has_counter=False, max_attempts=1))
 
-    async def test(app: App, node: Backend) -> None:
+    async def test(app: GatewayApplication, node: Backend) -> None:
         app.reload()
         assert "BUSY" in str(await ask(app, query("one")))
         assert len(node.commands) == 1
@@ -160,9 +160,9 @@
             raise file
         return file
 
-    async def test(app: App, node: Backend) -> None:
+    async def test(app: GatewayApplication, node: Backend) -> None:
         one = replace(app._config, settings=made_settings(classes=(SAFE,), has_counter=False))
-        grown = made_settings(classes=(SAFE, KEYED), has_counter=False, gateways=40)
+        grown = made_settings(classes=(SAFE, KEYED), has_counter=False, gateway_count=40)
         two = replace(app._config, settings=grown)
         files[:] = [ConfigError("settings: missing"), replace(two, shape={"a": None}), one, two]
         app._config = replace(app._config, shape={"a": None, "b": None})
@@ -210,12 +210,12 @@
 def test_a_call_that_is_out_is_answered_before_the_new_plan_is_taken_up() -> None:
     made = samples.gateway()
     now = samples.START
-    [count] = samples.only(made.handle(now, samples.request("a")), api.Count)
+    [count] = samples.only(made.handle(now, samples.request("a")), api.AddToCounter)
     plan = replace(samples.PLAIN, rate=2.0, burst=30.0)
     made.retune(replace(samples.SETTINGS, plans=(plan, samples.CAPPED)))
     led = made._quota.ledger(now, samples.request("b"))
     assert led.plan is samples.PLAIN  # its answer belongs to the old period
-    made.handle(now, api.Total(count.name, api.Verdict.OK, 1.0, 1.0))
+    made.handle(now, api.CounterReply(count.name, api.Verdict.OK, 1.0, 1.0))
     assert made._quota.ledger(now, samples.request("b")).plan is plan
     replan(now, led, replace(plan, ceiling_rate=9.0, ceiling_burst=60.0), samples.SETTINGS)
     assert led.head is not None and led.head.room(now) == 0.0  # a new ceiling's headroom starts empty
--- a/tests/gateway/test_response_stream.py
+++ b/tests/gateway/test_response_stream.py
@@ -9,8 +9,8 @@
 import pytest
 
 from badgeryoke.gateway.resp import upstream_connection as server_link_module
-from badgeryoke.gateway.resp.codec import MAX_BULK, MAX_LONG, Parser, Passed
-from badgeryoke.gateway.response_stream import WINDOW, WINDOW_LEAST, Relay, Room
+from badgeryoke.gateway.resp.codec import MAX_BULK, MAX_LONG, Passed, RespParser
+from badgeryoke.gateway.response_stream import WINDOW, WINDOW_LEAST, BufferBudget, ResponseStream
 from tests.gateway.resp.test_client_connection import ask, play
 from tests.gateway.test_service import until
 from tests.support.stand_ins import connect, one_gateway, query
@@ -28,7 +28,7 @@
 @pytest.mark.parametrize("step", [1000, 4097, 65536, 10**9])
 @pytest.mark.parametrize("size", [MAX_BULK + 1, 300_000])
 def test_a_long_value_comes_in_pieces_however_it_is_cut(size: int, step: int) -> None:
-    parser, sent, got = Parser(max_items=8, max_long=MAX_LONG), value(size), []
+    parser, sent, got = RespParser(max_items=8, max_long=MAX_LONG), value(size), []
     data = b"*3\r\n$%d\r\n" % size + sent + TAIL
     values: list[Any] = []
     for at in range(0, len(data), step):
@@ -52,18 +52,18 @@
     ],
 )
 def test_what_is_no_long_value_is_a_fault(data: bytes, fault: str) -> None:
-    parser = Parser(max_items=8, max_long=MAX_LONG)
+    parser = RespParser(max_items=8, max_long=MAX_LONG)
     parser.feed(data)
     assert parser.fault == fault
 
 
 def test_the_room_is_shared_out_and_never_below_the_least() -> None:
-    room = Room(4 * WINDOW)
-    relays = [Relay(1, room) for _ in range(4)]
+    room = BufferBudget(4 * WINDOW)
+    relays = [ResponseStream(1, room) for _ in range(4)]
     assert room.window == WINDOW
-    relays += [Relay(1, room) for _ in range(4)]
+    relays += [ResponseStream(1, room) for _ in range(4)]
     assert room.window == WINDOW // 2
-    relays += [Relay(1, room) for _ in range(1000)]
+    relays += [ResponseStream(1, room) for _ in range(1000)]
     assert room.window == WINDOW_LEAST
     for relay in relays:
         relay.fail()
@@ -72,7 +72,7 @@
 
 
 def test_a_relay_gives_room_back_as_it_is_taken_from() -> None:
-    relay, told = Relay(10, Room(8 * 1024)), []
+    relay, told = ResponseStream(10, BufferBudget(8 * 1024)), []
     relay.on_room = lambda: told.append(relay.held)
     relay.put(b"a" * 5000)
     relay.put(b"b" * 5000)
@@ -159,7 +159,7 @@
             writer.write(query("r1", "load-send", key="k"))
             await until(lambda: node.commands)
             link = app._links[1][1]
-            assert isinstance(link, server_link_module.RespServerLink)
+            assert isinstance(link, server_link_module.RespUpstream)
             link._clock = lambda: asyncio.get_running_loop().time() * 1000.0
             node.writers[0].write(b"*3\r\n$70000\r\nfirst")
             assert await reader.readexactly(13) == b"$70000\r\nfirst"
--- a/tests/gateway/test_service.py
+++ b/tests/gateway/test_service.py
@@ -19,12 +19,12 @@
 
 from badgeryoke.decisions.interface import Verdict
 from badgeryoke.gateway import application as gateway_module
-from badgeryoke.gateway.application import App
-from badgeryoke.gateway.attempt import End, Execution, Query
+from badgeryoke.gateway.application import GatewayApplication
+from badgeryoke.gateway.attempt import Attempt, AttemptEnd, Request
 from badgeryoke.gateway.config.platform_file import Config, ConfigError
 from badgeryoke.gateway.resp import listener as front_module
 from badgeryoke.gateway.resp.client_connection import MOST_FAULTS
-from badgeryoke.gateway.resp.upstream_connection import RespServerLink, settle
+from badgeryoke.gateway.resp.upstream_connection import RespUpstream, settle
 from tests.decisions.test_simulator_adapter import PARAMS
 from tests.gateway.resp.test_client_connection import ask, play
 from tests.gateway.test_counter_and_discovery import Calls
@@ -64,7 +64,7 @@
             Discovery(entry("b", other.port)) as moved,
         ):
             made = config(list_.port, old.port, roster(entry("a", node.port)))
-            app = App(
+            app = GatewayApplication(
                 made,
                 lambda: NOW_MS,
                 lambda: replace(made, discovery=(HOST, moved.port), counter=(HOST, new.port)),
@@ -99,7 +99,9 @@
 
     async def test() -> None:
         async with Backend() as node, Discovery(entry("a", node.port)) as list_:
-            app = App(config(list_.port, None, roster(entry("a", node.port))), lambda: NOW_MS, faulty)
+            app = GatewayApplication(
+                config(list_.port, None, roster(entry("a", node.port))), lambda: NOW_MS, faulty
+            )
             app.start()
             await until(lambda: app._hosts.ready)
             app.reload()
@@ -469,7 +471,7 @@
             raw = node.writers[0].get_extra_info("socket")
             os.write(raw.fileno(), GOOD)
             link = next(iter(app._links.values()))[1]
-            assert isinstance(link, RespServerLink)
+            assert isinstance(link, RespUpstream)
             assert link._rested() is None
             writer.write(query("r2"))
             assert await read_reply(reader) == b"value"
@@ -520,9 +522,9 @@
 )
 def test_a_figure_that_cannot_be_read_is_no_figure(use: Any, load: Any, units: float, report: Any) -> None:
     """One unreadable figure cost the other too; one out of range was booked on the customer."""
-    ends: list[End] = []
-    asked = Query("r", "c", "p", 1, 1.0, 1.0, 1)
-    execution = Execution(asked, 0, 1, 0.0, 1.0, lambda _, end: ends.append(end))
+    ends: list[AttemptEnd] = []
+    asked = Request("r", "c", "p", 1, 1.0, 1.0, 1)
+    execution = Attempt(asked, 0, 1, 0.0, 1.0, lambda _, end: ends.append(end))
     execution.written()
     assert settle(execution, [b"good", use, load], ("latency_ms", "inflight"), 6.0).usable
     [end] = ends
--- a/tests/project/test_project.py
+++ b/tests/project/test_project.py
@@ -4,6 +4,7 @@
 
 import ast
 import re
+from pathlib import Path
 
 from tests.support.paths import ROOT
 
@@ -35,13 +36,22 @@
             assert part.id not in {"hash", "id", "set", "frozenset", "globals"}
 
 
+def source_of(module: str) -> Path:
+    """The file of a module of the project."""
+    path = ROOT / module.replace(".", "/")
+    return path / "__init__.py" if path.is_dir() else path.with_suffix(".py")
+
+
 def test_what_the_module_imports_imports_nothing_of_it() -> None:
     found, seen = ["badgeryoke.decisions.policy.engine"], dict[str, None]()
     while found:
         name = found.pop()
-        path = ROOT / (name.replace(".", "/") + ".py")
-        tree = ast.parse(path.read_text(encoding="utf-8"))
-        named = [part.module or "" for part in ast.walk(tree) if isinstance(part, ast.ImportFrom)]
+        tree = ast.parse(source_of(name).read_text(encoding="utf-8"))
+        imports = [part for part in ast.walk(tree) if isinstance(part, ast.ImportFrom)]
+        pairs = [(part.module or "", one.name) for part in imports for one in part.names]
+        named = [
+            f"{module}.{one}" if source_of(f"{module}.{one}").is_file() else module for module, one in pairs
+        ]
         here = [module for module in named if module.startswith("badgeryoke")]
         assert "badgeryoke.decisions.policy.engine" not in here, name
         found += [module for module in here if module not in seen]
--- a/tests/support/cluster_digest.py
+++ b/tests/support/cluster_digest.py
@@ -1,8 +1,8 @@
 """Digests of what the cluster part does: effects in order, without the names that its bytes may hold.
 
-An entry's body and a snapshot's body are MessagePack that names commands by their type, so they are read before they are
-taken in.  What depends on nothing but the length or the checksum of such bytes (the offsets of a snapshot's pieces, the
-checksums of answered calls) is left out.
+An entry's body and a snapshot's body are MessagePack that names commands by their type, so they are read
+before they are taken in.  What depends on nothing but the length or the checksum of such bytes (the offsets
+of a snapshot's pieces, the checksums of answered calls) is left out.
 """
 
 from __future__ import annotations
@@ -14,25 +14,34 @@
 
 import msgspec
 
-from badgeryoke.cluster.errors import FleetError
+from badgeryoke.cluster.errors import ClusterError
 from badgeryoke.cluster.events import (
-    Call,
-    Done,
+    ClusterCall,
     Entries,
+    MessageReceived,
     NodeEvent,
-    Propose,
-    Received,
-    Saved,
-    Send,
+    OperationCompleted,
+    PersistedGroup,
+    PersistRecords,
+    ProposeCommand,
+    SendMessage,
     Snapshot,
-    Store,
-    StoreBroke,
+    StorageFailure,
 )
-from badgeryoke.cluster.messages import COMMAND, Append, Entry, Forward, Piece, PieceTaken, Reply
-from badgeryoke.cluster.node import Node
+from badgeryoke.cluster.invariants import Invariants, Rule
+from badgeryoke.cluster.messages import (
+    COMMAND,
+    AppendEntries,
+    ForwardedCall,
+    ForwardedReply,
+    InstallSnapshotChunk,
+    InstallSnapshotChunkReply,
+    LogEntry,
+)
+from badgeryoke.cluster.node import ClusterNode
 from badgeryoke.cluster.node_setup import FOUNDING
-from badgeryoke.cluster.state_machine.machine import GroupState, decode
-from badgeryoke.cluster.state_machine.part import Applied, Command
+from badgeryoke.cluster.state_machine.machine import GroupStateMachine, decode
+from badgeryoke.cluster.state_machine.part import ApplyResult, Command
 from tests.support.canonical import Digest
 from tests.support.paths import ROOT
 
@@ -53,9 +62,9 @@
     return f"{command.reads}/{command.once}", command
 
 
-def applied_values(result: Applied | FleetError | None) -> object:
+def applied_values(result: ApplyResult | ClusterError | None) -> object:
     """An answer, with the stable code of its error."""
-    if isinstance(result, FleetError):
+    if isinstance(result, ClusterError):
         return result.code, result
     if result is None:
         return None
@@ -72,7 +81,7 @@
     return at_ms, command_values(command)
 
 
-def entry_values(entry: Entry) -> object:
+def entry_values(entry: LogEntry) -> object:
     """An entry of a log; a configuration's bytes hold no name."""
     body = body_values(entry.body) if entry.kind == COMMAND else entry.body
     return entry.index, entry.term, entry.kind, body
@@ -100,7 +109,7 @@
 def message_values(message: object) -> object:
     """A message between members."""
     match message:
-        case Append():
+        case AppendEntries():
             return (
                 message.group,
                 message.term,
@@ -110,7 +119,7 @@
                 message.commit,
                 message.round,
             )
-        case Piece():
+        case InstallSnapshotChunk():
             return (
                 message.group,
                 message.term,
@@ -119,11 +128,11 @@
                 message.config,
                 message.round,
             )
-        case PieceTaken():
+        case InstallSnapshotChunkReply():
             return message.group, message.term, message.index, message.round
-        case Forward():
+        case ForwardedCall():
             return message.token, message.group, body_values(message.body), message.hops
-        case Reply():
+        case ForwardedReply():
             return message.token
     return message
 
@@ -131,18 +140,18 @@
 def effect_values(effect: object) -> object:
     """An effect of a replica or a node."""
     match effect:
-        case Send():
+        case SendMessage():
             return "send", str(effect.to), message_values(effect.message)
-        case Store():
+        case PersistRecords():
             return (
                 "store",
                 effect.group,
                 effect.seq,
                 [record_values(one, effect.group) for one in effect.records],
             )
-        case Done():
+        case OperationCompleted():
             result = effect.result
-            known = isinstance(result, Applied | FleetError)
+            known = isinstance(result, ApplyResult | ClusterError)
             return "done", effect.token, applied_values(result) if known else result
     return "say", effect
 
@@ -150,18 +159,18 @@
 def event_values(event: object) -> object:
     """An event of a replica or a node."""
     match event:
-        case Received():
+        case MessageReceived():
             return str(event.sender), message_values(event.message)
-        case Call():
+        case ClusterCall():
             return event.token, command_values(event.command)
-        case Propose():
+        case ProposeCommand():
             return event.token, body_values(event.body)
-        case StoreBroke():
+        case StorageFailure():
             return event.error.code, event.error
     return event
 
 
-def saved_values(saved: Saved, group: str) -> object:
+def saved_values(saved: PersistedGroup, group: str) -> object:
     """What a store holds of a group."""
     snapshot = None if saved.snapshot is None else record_values(saved.snapshot, group)
     return saved.term, saved.vote, snapshot, [entry_values(entry) for entry in saved.entries]
@@ -173,7 +182,7 @@
         digest.add((now, effect_values(effect)))
 
 
-class RecordedNode(Node):
+class RecordedNode(ClusterNode):
     """A node whose events and effects go into a digest."""
 
     digest: Digest
@@ -186,6 +195,12 @@
         return effects
 
 
-def add_state(digest: Digest, state: GroupState) -> None:
+def add_state(digest: Digest, state: GroupStateMachine) -> None:
     """Take a snapshot of a group's state in."""
     digest.add(state_values(state.dump()))
+
+
+def broken_values(rules: Invariants) -> list[tuple[Rule, str]]:
+    """The rules that were broken, and the facts; a configuration stands in them by the name that its type had
+    when the digests were recorded."""
+    return [(rule, facts.replace("GroupConfiguration(", "Config(")) for rule, facts in rules.broken]
--- a/tests/support/cluster_history.py
+++ b/tests/support/cluster_history.py
@@ -1,4 +1,5 @@
-"""A fixed history of two groups, one of each kind, with every part in use: for golden snapshots and a golden store."""
+"""A fixed history of two groups, one of each kind, with every part in use: for golden snapshots and a
+golden store."""
 
 from __future__ import annotations
 
@@ -7,19 +8,19 @@
 import msgspec
 
 from badgeryoke.cluster import connection_limits, key_value, unreported_usage
-from badgeryoke.cluster.events import Entries, Forget, HardState, Snapshot, Store
+from badgeryoke.cluster.events import DiscardGroup, Entries, HardState, PersistRecords, Snapshot
 from badgeryoke.cluster.invariants import Invariants
-from badgeryoke.cluster.messages import COMMAND, NOTHING, Entry
+from badgeryoke.cluster.messages import COMMAND, NOTHING, LogEntry
 from badgeryoke.cluster.messages import CONFIG as CHANGE
 from badgeryoke.cluster.node_setup import FOUNDING as FOUNDING_GROUP
 from badgeryoke.cluster.placement import directory
 from badgeryoke.cluster.raft.log import encode_config
 from badgeryoke.cluster.reservations import contract
 from badgeryoke.cluster.rolling_restart import restart
-from badgeryoke.cluster.state_machine.machine import GroupState, encode
-from badgeryoke.cluster.state_machine.part import FLEET, Applied, Command
+from badgeryoke.cluster.state_machine.machine import GroupStateMachine, encode
+from badgeryoke.cluster.state_machine.part import FLEET, ApplyResult, Command
 from badgeryoke.cluster.timings import Timings
-from badgeryoke.gateway.cluster.storage import Disk, open_store
+from badgeryoke.gateway.cluster.storage import ClusterStorage, open_store
 from tests.support.cluster_samples import CLUSTER, CONFIG, FACTS, FOUNDING, OWED, SERVER, START_MS, TERMS
 
 MEMBER, INCARNATION = "a", "1"
@@ -37,36 +38,39 @@
     surplus=True,
     windows=(contract.Window(from_ms=START_MS + 90_000, to_ms=START_MS + 900_000),),
 )
-ROLL = restart.RollAsk(
+ROLL = restart.StartRollingRestart(
     id="r1", roll="nightly", gateways=("b", "a"), reason="new version", at_once=1, warm_ms=500.0
 )
 
 FLEET_HISTORY: tuple[tuple[float, Command], ...] = (
-    (0.0, directory.Enrol(id="e1", name="d", who="d/4", hall="west")),
+    (0.0, directory.EnrolMember(id="e1", name="d", who="d/4", hall="west")),
     (
         1.0,
-        contract.Capacity(
+        contract.SetCapacity(
             id="c1", units=1000.0, reserve=0.1, floor=50.0, halls={"east": 600.0, "west": 400.0}
         ),
     ),
-    (2.0, contract.Propose(id="c2", contract=CONTRACT, terms=TERMS)),
-    (3.0, contract.Propose(id="c3", contract="nightly", terms=NIGHTLY)),
-    (4.0, contract.Told(id="c4", contract=CONTRACT, version=1)),
-    (5.0, contract.Told(id="c5", contract="nightly", version=2)),
-    (6.0, contract.Propose(id="c6", contract="huge", terms=msgspec.structs.replace(TERMS, rate=1e6))),
-    (7.0, directory.Enrol(id="e2", name="b", who="b/5", hall="west")),
-    (8.0, directory.Replace(id="e3", group="g1", lost="b/2", new="d/4", most=2)),
-    (9.0, directory.Moved(id="e4", group="g0", voters=("a/1", "b/2", "c/3"), number=17, behind=("c/3",))),
-    (60_500.0, contract.Pass(id="c7")),
+    (2.0, contract.ProposeContract(id="c2", contract=CONTRACT, terms=TERMS)),
+    (3.0, contract.ProposeContract(id="c3", contract="nightly", terms=NIGHTLY)),
+    (4.0, contract.VersionDrained(id="c4", contract=CONTRACT, version=1)),
+    (5.0, contract.VersionDrained(id="c5", contract="nightly", version=2)),
+    (6.0, contract.ProposeContract(id="c6", contract="huge", terms=msgspec.structs.replace(TERMS, rate=1e6))),
+    (7.0, directory.EnrolMember(id="e2", name="b", who="b/5", hall="west")),
+    (8.0, directory.ReplaceReplica(id="e3", group="g1", lost="b/2", new="d/4", most=2)),
+    (
+        9.0,
+        directory.ReplicaMoved(id="e4", group="g0", voters=("a/1", "b/2", "c/3"), number=17, behind=("c/3",)),
+    ),
+    (60_500.0, contract.AdvanceContracts(id="c7")),
     (
         61_500.0,
-        contract.Short(
+        contract.ReportShortfall(
             id="c8", contract=CONTRACT, by="a/1", cause="no lease", units=7.5, since_ms=START_MS + 61_000
         ),
     ),
     (
         62_000.0,
-        contract.Change(
+        contract.ChangeContract(
             id="c9",
             contract=CONTRACT,
             terms=msgspec.structs.replace(TERMS, rate=120.0),
@@ -74,34 +78,38 @@
         ),
     ),
     (62_001.0, ROLL),
-    (62_002.0, restart.RollTurn(id="r2", roll="nightly", stamp=0, turn="SEEN")),
+    (62_002.0, restart.RecordRestartEvent(id="r2", roll="nightly", stamp=0, turn="SEEN")),
     (
         62_003.0,
-        restart.RollTurn(id="r3", roll="nightly", stamp=1, turn="PLANNED", order=("b", "a"), members=4),
+        restart.RecordRestartEvent(
+            id="r3", roll="nightly", stamp=1, turn="PLANNED", order=("b", "a"), members=4
+        ),
     ),
-    (62_004.0, restart.RollWave(id="r4", roll="nightly", stamp=2, gateways=("b",), facts=FACTS)),
+    (62_004.0, restart.StartWave(id="r4", roll="nightly", stamp=2, gateways=("b",), facts=FACTS)),
     (
         62_005.0,
-        restart.RollReport(id="r5", roll="nightly", gateway="b", round=1, what="ready", process="b/5"),
+        restart.ReportGateway(id="r5", roll="nightly", gateway="b", round=1, what="ready", process="b/5"),
     ),
     (
         62_200.0,
-        restart.RollStep(id="r6", roll="nightly", gateway="b", round=1, step="ROOMY", facts=FACTS, stamp=4),
+        restart.RecordGatewayEvent(
+            id="r6", roll="nightly", gateway="b", round=1, step="ROOMY", facts=FACTS, stamp=4
+        ),
     ),
     (
         62_250.0,
-        restart.RollReport(id="r7", roll="nightly", gateway="b", round=2, what="paused", process="b/5"),
+        restart.ReportGateway(id="r7", roll="nightly", gateway="b", round=2, what="paused", process="b/5"),
     ),
     (62_300.0, contract.CancelContract(id="c10", contract="nightly")),
     (62_301.0, contract.CancelContract(id="c10", contract="nightly")),  # repeated: the same answer
     (62_302.0, contract.CancelContract(id="c10", contract=CONTRACT)),  # another call with a taken id
-    (62_303.0, key_value.Promise(id="p1", name="payday", value="armed")),  # not for this group
-    (62_304.0, directory.Forgo(id="e5", group="g0", new="d/4", why="lost")),  # no such move
+    (62_303.0, key_value.PutValue(id="p1", name="payday", value="armed")),  # not for this group
+    (62_304.0, directory.CancelMove(id="e5", group="g0", new="d/4", why="lost")),  # no such move
 )
 
 
 def _lease(number: int, holder: str, order: int, held: int, keep: float, wish: float, soft: bool) -> Command:
-    return contract.Lease(
+    return contract.RequestLease(
         id=f"f{number}",
         tenant=TENANT,
         contract=CONTRACT,
@@ -119,21 +127,21 @@
 
 
 def _connections(number: int, holder: str, held: int, keep: int, wish: int, fresh: bool) -> Command:
-    return connection_limits.ConnLeases(
+    return connection_limits.RequestConnectionLeases(
         id=f"s{number}",
         holder=holder,
         bucket=BUCKET,
         fresh=fresh,
-        asks=(connection_limits.Ask(server=SERVER, number=held, keep=keep, wish=wish),),
+        asks=(connection_limits.ConnectionLeaseRequest(server=SERVER, number=held, keep=keep, wish=wish),),
     )
 
 
 OTHER_HISTORY: tuple[tuple[float, Command], ...] = (
-    (0.0, key_value.Promise(id="p1", name="payday", value="armed")),
-    (1.0, key_value.Promise(id="p2", name="payday", value="off")),
+    (0.0, key_value.PutValue(id="p1", name="payday", value="armed")),
+    (1.0, key_value.PutValue(id="p2", name="payday", value="off")),
     (
         2.0,
-        contract.Open(
+        contract.OpenContract(
             id="f1",
             tenant=TENANT,
             contract=CONTRACT,
@@ -144,20 +152,20 @@
             holds_from_ms=START_MS,
         ),
     ),
-    (3.0, connection_limits.Limit(id="s1", server=SERVER, most=24, idle_ms=30_000.0)),
+    (3.0, connection_limits.SetConnectionLimit(id="s1", server=SERVER, most=24, idle_ms=30_000.0)),
     (4.0, _connections(2, "a/1#boot.9", 0, 0, 8, False)),
     (5.0, _connections(3, "b/2#boot.7", 0, 0, 30, True)),
-    (6.0, unreported_usage.Owe(id="o1", tenant=TENANT, by="a/1", lines=OWED)),
-    (7.0, unreported_usage.Owe(id="o2", tenant=TENANT, by="b/2", lines=OWED[:1])),
+    (6.0, unreported_usage.RecordUsage(id="o1", tenant=TENANT, by="a/1", lines=OWED)),
+    (7.0, unreported_usage.RecordUsage(id="o2", tenant=TENANT, by="b/2", lines=OWED[:1])),
     (
         60_100.0,
-        unreported_usage.Claim(id="o3", tenant=TENANT, batch="o1", by="b/2"),
+        unreported_usage.ClaimUsage(id="o3", tenant=TENANT, batch="o1", by="b/2"),
     ),  # too late: it is closed
     (60_200.0, _lease(2, "a/1", 1, 0, 0.0, 60.5, False)),
     (60_300.0, _lease(3, "b/2", 1, 0, 0.0, 20.0, True)),
     (
         60_400.0,
-        contract.Used(
+        contract.ReportUsage(
             id="f4",
             tenant=TENANT,
             contract=CONTRACT,
@@ -168,7 +176,7 @@
     (60_500.0, _lease(5, "a/1", 2, 1, 20.0, 40.0, False)),
     (
         60_501.0,
-        contract.Open(
+        contract.OpenContract(
             id="f6",
             tenant=TENANT,
             contract=CONTRACT,
@@ -180,45 +188,50 @@
         ),
     ),
     (60_502.0, _lease(7, "a/1", 1, 1, 20.0, 40.0, False)),  # comes behind a later one
-    (60_503.0, contract.EndLease(id="f8", tenant=TENANT, contract=CONTRACT, holder="b/2", number=2)),
-    (60_504.0, unreported_usage.Owe(id="o4", tenant=TENANT, by="c/3", lines=OWED)),
-    (60_505.0, unreported_usage.Claim(id="o5", tenant=TENANT, batch="o4", by="a/1")),
-    (60_506.0, unreported_usage.Owe(id="o6", tenant=TENANT, by="c/3", lines=OWED[1:])),
-    (60_507.0, unreported_usage.Claim(id="o7", tenant=TENANT, batch="o6", by="a/1")),
-    (60_508.0, unreported_usage.OwedTold(id="o8", tenant=TENANT, batch="o6", by="a/1", known=True)),
+    (60_503.0, contract.ReleaseLease(id="f8", tenant=TENANT, contract=CONTRACT, holder="b/2", number=2)),
+    (60_504.0, unreported_usage.RecordUsage(id="o4", tenant=TENANT, by="c/3", lines=OWED)),
+    (60_505.0, unreported_usage.ClaimUsage(id="o5", tenant=TENANT, batch="o4", by="a/1")),
+    (60_506.0, unreported_usage.RecordUsage(id="o6", tenant=TENANT, by="c/3", lines=OWED[1:])),
+    (60_507.0, unreported_usage.ClaimUsage(id="o7", tenant=TENANT, batch="o6", by="a/1")),
+    (
+        60_508.0,
+        unreported_usage.ConfirmUsageReported(id="o8", tenant=TENANT, batch="o6", by="a/1", known=True),
+    ),
     (
         60_509.0,
-        connection_limits.ConnEnd(
+        connection_limits.ReleaseConnectionLeases(
             id="s4", holder="a/1#boot.9", bucket=BUCKET, ends=((SERVER, 1),), proof="reset", by="a/1#boot.10"
         ),
     ),
-    (60_510.0, connection_limits.Limit(id="s5", server="gone:1", most=3, idle_ms=1000.0)),
-    (60_511.0, connection_limits.Unlimit(id="s6", server="gone:1")),
-    (60_512.0, connection_limits.Unlimit(id="s7", server="never:1")),
-    (63_500.0, contract.TurnFloor(id="f9", tenant=TENANT, contract=CONTRACT)),
+    (60_510.0, connection_limits.SetConnectionLimit(id="s5", server="gone:1", most=3, idle_ms=1000.0)),
+    (60_511.0, connection_limits.RemoveConnectionLimit(id="s6", server="gone:1")),
+    (60_512.0, connection_limits.RemoveConnectionLimit(id="s7", server="never:1")),
+    (63_500.0, contract.SwitchVersion(id="f9", tenant=TENANT, contract=CONTRACT)),
 )
 HISTORIES = {FLEET: FLEET_HISTORY, OTHER: OTHER_HISTORY}
 
 
-def new_state(group: str) -> GroupState:
+def new_state(group: str) -> GroupStateMachine:
     """A group as it is before its first entry."""
-    state = GroupState(group, Timings(), Invariants(strict=True))
+    state = GroupStateMachine(group, Timings(), Invariants(strict=True))
     if group == FLEET:
         state.parts["placing"].begin(FOUNDING)
     return state
 
 
-def history_entries(group: str) -> tuple[Entry, ...]:
+def history_entries(group: str) -> tuple[LogEntry, ...]:
     """The log: what a new leader begins with, then the commands."""
-    made = [Entry(index=1, term=2, kind=NOTHING, body=b"")]
+    made = [LogEntry(index=1, term=2, kind=NOTHING, body=b"")]
     for index, (after_ms, command) in enumerate(HISTORIES[group], 2):
         made.append(
-            Entry(index=index, term=2 + index // 8, kind=COMMAND, body=encode(START_MS + after_ms, command))
+            LogEntry(
+                index=index, term=2 + index // 8, kind=COMMAND, body=encode(START_MS + after_ms, command)
+            )
         )
     return tuple(made)
 
 
-def apply_entries(state: GroupState, entries: tuple[Entry, ...]) -> list[Applied]:
+def apply_entries(state: GroupStateMachine, entries: tuple[LogEntry, ...]) -> list[ApplyResult]:
     """Bring a log's commands to a state."""
     return [state.apply(1000.0, entry.index, entry.body) for entry in entries if entry.kind == COMMAND]
 
@@ -228,27 +241,33 @@
     return Snapshot(index=0, term=0, config=CONFIG, body=new_state(group).dump())
 
 
-def write_store(folder: Path) -> Disk:
+def write_store(folder: Path) -> ClusterStorage:
     """A store with groups of every kind, part of it still in SQLite's write-ahead log.  It stays open."""
     disk = open_store(folder, CLUSTER, MEMBER, fresh=lambda: INCARNATION)
-    assert isinstance(disk, Disk), disk
+    assert isinstance(disk, ClusterStorage), disk
     founding = Snapshot(index=1, term=1, config=CONFIG, body=msgspec.msgpack.encode(FOUNDING))
-    disk.write([Store(FOUNDING_GROUP, 1, (founding,))])
+    disk.write([PersistRecords(FOUNDING_GROUP, 1, (founding,))])
     for group in HISTORIES:
         entries = history_entries(group)
         state = new_state(group)
-        disk.write([Store(group, 1, (first_snapshot(group),))])
+        disk.write([PersistRecords(group, 1, (first_snapshot(group),))])
         apply_entries(state, entries[:SNAPSHOT_AT])
         last = entries[SNAPSHOT_AT - 1]
-        disk.write([Store(group, 2, (HardState(term=2, vote="a/1"), Entries(entries[:SNAPSHOT_AT])))])
-        disk.write([Store(group, 3, (Snapshot(last.index, last.term, CONFIG, state.dump()),))])
+        disk.write(
+            [PersistRecords(group, 2, (HardState(term=2, vote="a/1"), Entries(entries[:SNAPSHOT_AT])))]
+        )
+        disk.write([PersistRecords(group, 3, (Snapshot(last.index, last.term, CONFIG, state.dump()),))])
     disk._db.execute("PRAGMA wal_checkpoint(TRUNCATE)")
     for group in HISTORIES:
         disk.write(
-            [Store(group, 4, (HardState(term=7, vote="c/3"), Entries(history_entries(group)[SNAPSHOT_AT:])))]
+            [
+                PersistRecords(
+                    group, 4, (HardState(term=7, vote="c/3"), Entries(history_entries(group)[SNAPSHOT_AT:]))
+                )
+            ]
         )
-    change = Entry(index=4, term=4, kind=CHANGE, body=encode_config(CONFIG))
+    change = LogEntry(index=4, term=4, kind=CHANGE, body=encode_config(CONFIG))
     start = (first_snapshot("g0"), Entries((*history_entries(OTHER)[:3], change)))
-    disk.write([Store("g0", 1, (HardState(term=4, vote="b/2"), *start))])
-    disk.write([Store("g2", 1, start), Store("g2", 2, (Forget(),))])
+    disk.write([PersistRecords("g0", 1, (HardState(term=4, vote="b/2"), *start))])
+    disk.write([PersistRecords("g2", 1, start), PersistRecords("g2", 2, (DiscardGroup(),))])
     return disk
--- a/tests/support/cluster_samples.py
+++ b/tests/support/cluster_samples.py
@@ -1,4 +1,5 @@
-"""Sample values of everything that the cluster sends and stores, for the golden files: no field at its default."""
+"""Sample values of everything that the cluster sends and stores, for the golden files: no field at its
+default."""
 
 from __future__ import annotations
 
@@ -9,13 +10,13 @@
 import msgspec
 
 from badgeryoke.cluster import connection_limits, errors, key_value, messages, unreported_usage
-from badgeryoke.cluster.bootstrap import Record
+from badgeryoke.cluster.bootstrap import BootstrapRecord
 from badgeryoke.cluster.placement import directory
 from badgeryoke.cluster.raft.log import encode_config
 from badgeryoke.cluster.reservations import contract
 from badgeryoke.cluster.rolling_restart import restart
 from badgeryoke.cluster.state_machine.machine import decode, encode
-from badgeryoke.cluster.state_machine.part import Applied, Command
+from badgeryoke.cluster.state_machine.part import ApplyResult, Command
 from badgeryoke.gateway.cluster.transport import frame, read
 
 START_MS = 1_700_000_000_000.0  # Unix ms, of all that is said to happen
@@ -33,17 +34,17 @@
     decode: Callable[[bytes], Any]
 
 
-CONFIG = messages.Config(voters=("a/1", "b/2", "c/3"), learners=("d/4",))
+CONFIG = messages.GroupConfiguration(voters=("a/1", "b/2", "c/3"), learners=("d/4",))
 ENTRIES = (
-    messages.Entry(index=8, term=3, kind=messages.COMMAND, body=b"\x00command\xff"),
-    messages.Entry(index=9, term=3, kind=messages.CONFIG, body=encode_config(CONFIG)),
-    messages.Entry(index=10, term=4, kind=messages.NOTHING, body=b""),
+    messages.LogEntry(index=8, term=3, kind=messages.COMMAND, body=b"\x00command\xff"),
+    messages.LogEntry(index=9, term=3, kind=messages.CONFIG, body=encode_config(CONFIG)),
+    messages.LogEntry(index=10, term=4, kind=messages.NOTHING, body=b""),
 )
 RUMOURS = (
-    messages.Rumour(who="c/3", state=1, count=5, by="a/1"),
-    messages.Rumour(who="d/4", state=3, count=2, by="b/2"),
+    messages.GossipUpdate(who="c/3", state=1, count=5, by="a/1"),
+    messages.GossipUpdate(who="d/4", state=3, count=2, by="b/2"),
 )
-FOUNDING = Record(
+FOUNDING = BootstrapRecord(
     fleet=CLUSTER,
     founding="5ca1ab1e",
     by="a/1",
@@ -53,16 +54,21 @@
 )
 
 MESSAGES: tuple[tuple[str, messages.AnyMessage], ...] = (
-    ("vote-request", messages.Ask(group="g1", term=4, last_index=10, last_term=3, pre=True, lead=True)),
-    ("vote-answer", messages.Vote(group="g1", term=4, granted=True, pre=True)),
+    (
+        "vote-request",
+        messages.RequestVote(group="g1", term=4, last_index=10, last_term=3, pre=True, lead=True),
+    ),
+    ("vote-answer", messages.RequestVoteReply(group="g1", term=4, granted=True, pre=True)),
     (
         "append",
-        messages.Append(group="g1", term=4, previous=7, previous_term=3, entries=ENTRIES, commit=6, round=12),
+        messages.AppendEntries(
+            group="g1", term=4, previous=7, previous_term=3, entries=ENTRIES, commit=6, round=12
+        ),
     ),
-    ("append-answer", messages.Appended(group="g1", term=4, good=True, index=10, round=12)),
+    ("append-answer", messages.AppendEntriesReply(group="g1", term=4, good=True, index=10, round=12)),
     (
         "snapshot-piece",
-        messages.Piece(
+        messages.InstallSnapshotChunk(
             group="g1",
             term=4,
             index=7,
@@ -74,20 +80,20 @@
             round=13,
         ),
     ),
-    ("snapshot-answer", messages.PieceTaken(group="g1", term=4, index=7, held=1034, round=13)),
-    ("leader-transfer", messages.Lead(group="g1", term=4)),
-    ("forwarded-call", messages.Forward(token="a.77", group="g1", body=b"\x92call", hops=2)),
-    ("forwarded-answer", messages.Reply(token="a.77", body=b"\x93answer")),
+    ("snapshot-answer", messages.InstallSnapshotChunkReply(group="g1", term=4, index=7, held=1034, round=13)),
+    ("leader-transfer", messages.TimeoutNow(group="g1", term=4)),
+    ("forwarded-call", messages.ForwardedCall(token="a.77", group="g1", body=b"\x92call", hops=2)),
+    ("forwarded-answer", messages.ForwardedReply(token="a.77", body=b"\x93answer")),
     ("ping", messages.Ping(seq=21, target="b/2", gossip=RUMOURS, wall=START_MS + 0.5)),
     ("ping-answer", messages.Ack(seq=21, target="b/2", gossip=RUMOURS, wall=START_MS + 1.25)),
-    ("indirect-ping", messages.PingFor(seq=22, target="c/3", gossip=RUMOURS)),
+    ("indirect-ping", messages.PingRequest(seq=22, target="c/3", gossip=RUMOURS)),
     ("indirect-ping-refused", messages.Nack(seq=22, target="c/3", gossip=RUMOURS)),
-    ("bootstrap-question", messages.WhoAreYou(sender_hall="east")),
-    ("bootstrap-answer", messages.IAm(hall="west", founding=msgspec.msgpack.encode(FOUNDING))),
-    ("bootstrap-record", messages.Found(founding=msgspec.msgpack.encode(FOUNDING))),
+    ("bootstrap-question", messages.IdentityQuery(sender_hall="east")),
+    ("bootstrap-answer", messages.Announce(hall="west", founding=msgspec.msgpack.encode(FOUNDING))),
+    ("bootstrap-record", messages.ClusterFounded(founding=msgspec.msgpack.encode(FOUNDING))),
 )
 
-TERMS = contract.Terms(
+TERMS = contract.ContractTerms(
     tenant="north",
     customers=(1, 2, 3),
     rate=100.0,
@@ -104,30 +110,33 @@
         ),
     ),
 )
-FACTS = restart.Facts(missing=0, spare=1, halls=0, have=800.5, need=600.25)
+FACTS = restart.ClusterConditions(missing=0, spare=1, halls=0, have=800.5, need=600.25)
 OWED = (
-    unreported_usage.Line(name="quota-7", units=12.5, expire_ms=60_000.0),
-    unreported_usage.Line(name="quota-8", units=-3.0, expire_ms=1.0),
+    unreported_usage.UsageLine(name="quota-7", units=12.5, expire_ms=60_000.0),
+    unreported_usage.UsageLine(name="quota-8", units=-3.0, expire_ms=1.0),
 )
 
 COMMANDS: tuple[tuple[str, Command], ...] = (
-    ("promise", key_value.Promise(id="p1", name="payday", value="armed")),
-    ("promise-read", key_value.PromiseRead(id="p2", name="payday")),
-    ("enrol", directory.Enrol(id="e1", name="d", who="d/4", hall="east")),
-    ("replace", directory.Replace(id="e2", group="g1", lost="b/2", new="d/4", most=2)),
-    ("moved", directory.Moved(id="e3", group="g0", voters=("a/1", "b/2", "c/3"), number=17, behind=("c/3",))),
-    ("forgo", directory.Forgo(id="e4", group="g1", new="d/4", why="the newcomer does not catch up")),
-    ("places", directory.Places(id="e5")),
+    ("promise", key_value.PutValue(id="p1", name="payday", value="armed")),
+    ("promise-read", key_value.ReadValue(id="p2", name="payday")),
+    ("enrol", directory.EnrolMember(id="e1", name="d", who="d/4", hall="east")),
+    ("replace", directory.ReplaceReplica(id="e2", group="g1", lost="b/2", new="d/4", most=2)),
+    (
+        "moved",
+        directory.ReplicaMoved(id="e3", group="g0", voters=("a/1", "b/2", "c/3"), number=17, behind=("c/3",)),
+    ),
+    ("forgo", directory.CancelMove(id="e4", group="g1", new="d/4", why="the newcomer does not catch up")),
+    ("places", directory.ReadPlacement(id="e5")),
     (
         "capacity",
-        contract.Capacity(
+        contract.SetCapacity(
             id="c1", units=1000.0, reserve=0.1, floor=50.0, halls={"east": 600.0, "west": 400.0}
         ),
     ),
-    ("propose", contract.Propose(id="c2", contract="payday", terms=TERMS)),
+    ("propose", contract.ProposeContract(id="c2", contract="payday", terms=TERMS)),
     (
         "change",
-        contract.Change(
+        contract.ChangeContract(
             id="c3",
             contract="payday",
             terms=msgspec.structs.replace(TERMS, rate=120.0),
@@ -135,19 +144,19 @@
         ),
     ),
     ("cancel", contract.CancelContract(id="c4", contract="nightly")),
-    ("told", contract.Told(id="c5", contract="payday", version=1)),
+    ("told", contract.VersionDrained(id="c5", contract="payday", version=1)),
     (
         "short",
-        contract.Short(
+        contract.ReportShortfall(
             id="c6", contract="payday", by="a/1", cause="no lease", units=7.5, since_ms=START_MS + 61_000
         ),
     ),
-    ("pass", contract.Pass(id="c7")),
-    ("contracts-read", contract.ContractsRead(id="c8")),
-    ("contracts-known", contract.ContractsKnown(id="c9", have=3)),
+    ("pass", contract.AdvanceContracts(id="c7")),
+    ("contracts-read", contract.ReadContracts(id="c8")),
+    ("contracts-known", contract.PollContracts(id="c9", have=3)),
     (
         "open",
-        contract.Open(
+        contract.OpenContract(
             id="f1",
             tenant="north",
             contract="payday",
@@ -160,7 +169,7 @@
     ),
     (
         "lease",
-        contract.Lease(
+        contract.RequestLease(
             id="f2",
             tenant="north",
             contract="payday",
@@ -178,10 +187,10 @@
             order=6,
         ),
     ),
-    ("turn-floor", contract.TurnFloor(id="f3", tenant="north", contract="payday")),
+    ("turn-floor", contract.SwitchVersion(id="f3", tenant="north", contract="payday")),
     (
         "used",
-        contract.Used(
+        contract.ReportUsage(
             id="f4",
             tenant="north",
             contract="payday",
@@ -189,22 +198,22 @@
             slices=((340_000_012_000, 3.0, 2.0), (340_000_012_001, 1.0, 0.5)),
         ),
     ),
-    ("end-lease", contract.EndLease(id="f5", tenant="north", contract="payday", holder="a/1", number=4)),
-    ("limit", connection_limits.Limit(id="s1", server=SERVER, most=24, idle_ms=30_000.0)),
-    ("unlimit", connection_limits.Unlimit(id="s2", server=SERVER)),
+    ("end-lease", contract.ReleaseLease(id="f5", tenant="north", contract="payday", holder="a/1", number=4)),
+    ("limit", connection_limits.SetConnectionLimit(id="s1", server=SERVER, most=24, idle_ms=30_000.0)),
+    ("unlimit", connection_limits.RemoveConnectionLimit(id="s2", server=SERVER)),
     (
         "connection-leases",
-        connection_limits.ConnLeases(
+        connection_limits.RequestConnectionLeases(
             id="s3",
             holder="a/1#boot.9",
             bucket=connection_limits.bucket(SERVER),
             fresh=True,
-            asks=(connection_limits.Ask(server=SERVER, number=3, keep=2, wish=8),),
+            asks=(connection_limits.ConnectionLeaseRequest(server=SERVER, number=3, keep=2, wish=8),),
         ),
     ),
     (
         "connection-end",
-        connection_limits.ConnEnd(
+        connection_limits.ReleaseConnectionLeases(
             id="s4",
             holder="a/1#boot.9",
             bucket=connection_limits.bucket(SERVER),
@@ -213,13 +222,16 @@
             by="a/1#boot.10",
         ),
     ),
-    ("owe", unreported_usage.Owe(id="o1", tenant="north", by="a/1", lines=OWED)),
-    ("claim", unreported_usage.Claim(id="o2", tenant="north", batch="o1", by="b/2")),
-    ("owed-told", unreported_usage.OwedTold(id="o3", tenant="north", batch="o1", by="b/2", known=True)),
-    ("owed-read", unreported_usage.OwedRead(id="o4", tenant="north")),
+    ("owe", unreported_usage.RecordUsage(id="o1", tenant="north", by="a/1", lines=OWED)),
+    ("claim", unreported_usage.ClaimUsage(id="o2", tenant="north", batch="o1", by="b/2")),
+    (
+        "owed-told",
+        unreported_usage.ConfirmUsageReported(id="o3", tenant="north", batch="o1", by="b/2", known=True),
+    ),
+    ("owed-read", unreported_usage.ReadUnreportedUsage(id="o4", tenant="north")),
     (
         "roll-ask",
-        restart.RollAsk(
+        restart.StartRollingRestart(
             id="r1",
             roll="nightly",
             gateways=("b", "a"),
@@ -232,44 +244,46 @@
             hall_may_go=True,
         ),
     ),
-    ("roll-cancel", restart.RollCancel(id="r2", roll="nightly")),
-    ("roll-resume", restart.RollResume(id="r3", roll="nightly", gateway="b", force=True)),
+    ("roll-cancel", restart.CancelRollingRestart(id="r2", roll="nightly")),
+    ("roll-resume", restart.ResumeGateway(id="r3", roll="nightly", gateway="b", force=True)),
     (
         "roll-turn",
-        restart.RollTurn(
+        restart.RecordRestartEvent(
             id="r4", roll="nightly", stamp=1, turn="PLANNED", why="as asked", order=("b", "a"), members=3
         ),
     ),
-    ("roll-wave", restart.RollWave(id="r5", roll="nightly", stamp=2, gateways=("b",), facts=FACTS)),
+    ("roll-wave", restart.StartWave(id="r5", roll="nightly", stamp=2, gateways=("b",), facts=FACTS)),
     (
         "roll-step",
-        restart.RollStep(id="r6", roll="nightly", gateway="b", round=1, step="ROOMY", facts=FACTS, stamp=3),
+        restart.RecordGatewayEvent(
+            id="r6", roll="nightly", gateway="b", round=1, step="ROOMY", facts=FACTS, stamp=3
+        ),
     ),
     (
         "roll-report",
-        restart.RollReport(id="r7", roll="nightly", gateway="b", round=1, what="ready", process="b/2"),
+        restart.ReportGateway(id="r7", roll="nightly", gateway="b", round=1, what="ready", process="b/2"),
     ),
-    ("roll-read", restart.RollRead(id="r8", gateway="b")),
-    ("rolls-read", restart.RollsRead(id="r9")),
+    ("roll-read", restart.ReadDesiredState(id="r8", gateway="b")),
+    ("rolls-read", restart.ReadRollingRestarts(id="r9")),
 )
 
 ERRORS: tuple[errors.AnyError, ...] = (
-    errors.BadCall("name", "unknown"),
+    errors.InvalidCall("name", "unknown"),
     errors.NoLeader("g3", "nobody leads"),
     errors.UnknownOutcome("7f3a", "no answer in time"),
-    errors.Crowded("a", "4096 calls are under way"),
+    errors.Overloaded("a", "4096 calls are under way"),
     errors.MajorityLost("g3", "1 of 3 is left"),
     errors.NewIncarnation("a/2", "its store was lost"),
     errors.StaleIncarnation("a/1", "a/2 has come in its place"),
-    errors.AnotherFleet("c", "it belongs to another"),
+    errors.ClusterMismatch("c", "it belongs to another"),
     errors.BadFrame("c", "version 2"),
-    errors.StoreFailed("a", "no space left"),
-    errors.StoreDamaged("a", "entry 7 does not read"),
-    errors.NoRoom("payday", "900 fit", 900.5, START_MS),
-    errors.NotThere("payday", "no such contract"),
+    errors.StorageFailed("a", "no space left"),
+    errors.StorageDamaged("a", "entry 7 does not read"),
+    errors.InsufficientCapacity("payday", "900 fit", 900.5, START_MS),
+    errors.NotFound("payday", "no such contract"),
     errors.WrongState("payday", "it is settled"),
-    errors.TakenId("7f3a", "another call has it"),
-    errors.LeaseOver("a/1", "lease 4 is over"),
+    errors.DuplicateId("7f3a", "another call has it"),
+    errors.LeaseExpired("a/1", "lease 4 is over"),
     errors.InvariantBroken("g3", "two votes in term 3"),
 )
 
@@ -315,15 +329,17 @@
         Case(f"error/{error.code}", error, _encode, msgspec.msgpack.Decoder(errors.AnyError).decode)
         for error in ERRORS
     ),
-    *(_plain(f"refused/{error.code}", Applied(error=error)) for error in ERRORS),
-    _plain("applied", Applied(value={"parts": [[SERVER, 3, 8, 8, 0]], "old": []}, error=None)),
-    Case("configuration", CONFIG, encode_config, msgspec.msgpack.Decoder(messages.Config).decode),
+    *(_plain(f"refused/{error.code}", ApplyResult(error=error)) for error in ERRORS),
+    _plain("applied", ApplyResult(value={"parts": [[SERVER, 3, 8, 8, 0]], "old": []}, error=None)),
+    Case("configuration", CONFIG, encode_config, msgspec.msgpack.Decoder(messages.GroupConfiguration).decode),
     *(_plain(f"log-entry/{entry.index}", entry) for entry in ENTRIES),
     _plain("rumour", RUMOURS[0]),
     _plain("bootstrap-record", FOUNDING),
     _plain("terms", TERMS),
     _plain("roll-facts", FACTS),
     _plain("owed-line", OWED[0]),
-    _plain("copy-on-its-way", directory.Move(lost="b/2", new="d/4", since=START_MS)),
-    _plain("placed-group", directory.Held(voters=("a/1", "b/2"), number=5, behind=("b/2",), reports=3)),
+    _plain("copy-on-its-way", directory.ReplicaMove(lost="b/2", new="d/4", since=START_MS)),
+    _plain(
+        "placed-group", directory.GroupPlacement(voters=("a/1", "b/2"), number=5, behind=("b/2",), reports=3)
+    ),
 )
--- a/tests/support/event_streams.py
+++ b/tests/support/event_streams.py
@@ -1,7 +1,8 @@
 """Seeded streams of events that drive decision modules in a closed loop, for digests of what they decide.
 
-Servers, the counter and the clients are models with phases of trouble.  They answer whatever the modules ask for, so
-every event follows from the actions before it, and one digest over all actions stands for the whole run.
+Servers, the counter and the clients are models with phases of trouble.  They answer whatever the modules ask
+for, so every event follows from the actions before it, and one digest over all actions stands for the whole
+run.
 """
 
 from __future__ import annotations
@@ -15,15 +16,15 @@
 
 from badgeryoke.decisions import interface as api
 from badgeryoke.decisions import state_snapshot
-from badgeryoke.decisions.counter_health.monitored_policy import Guarded
-from badgeryoke.decisions.policy.engine import Gateway
+from badgeryoke.decisions.counter_health.monitored_policy import MonitoredEngine
+from badgeryoke.decisions.policy.engine import DecisionEngine
 from badgeryoke.decisions.priority_admission import CEILING, LOAD, SERVER
 from tests.support.canonical import Digest
 
 START_MS = 500_000_000.0
 PHASE_MS = 2500.0  # servers, counter and discovery keep their trouble for so long
 CAUSES = ("", CEILING, LOAD, SERVER)
-Module = Gateway | Guarded
+Module = DecisionEngine | MonitoredEngine
 
 
 class ServerTrouble(Enum):
@@ -74,7 +75,7 @@
     counter_trouble: tuple[CounterTrouble, ...] = tuple(CounterTrouble)
     elsewhere: float = 0.5  # units that other gateways add to a name, for each unit of these modules
     handover_at: int = 0  # after so many events the first module hands over; 0: never
-    make: Callable[[api.Settings, int], Module] = Gateway
+    make: Callable[[api.Settings, int], Module] = DecisionEngine
 
 
 @dataclass
@@ -111,19 +112,19 @@
 
 def told(action: api.Action) -> tuple[object, ...]:
     """An action as plain values, its kind first."""
-    if isinstance(action, api.Send):
+    if isinstance(action, api.SendAttempt):
         return "send", action.id, action.server, action.timeout_ms
-    if isinstance(action, api.Cancel):
+    if isinstance(action, api.CancelAttempt):
         return "cancel", action.id, action.attempt
-    if isinstance(action, api.Refuse):
+    if isinstance(action, api.Reject):
         return "refuse", action.id, action.retry_after_ms, CAUSES.index(action.cause)
     if isinstance(action, api.Fail):
         return "fail", action.id
-    if isinstance(action, api.Count):
+    if isinstance(action, api.AddToCounter):
         return "count", action.name, action.units, action.expire_ms
-    if isinstance(action, api.Probe):
+    if isinstance(action, api.CheckHealth):
         return "probe", action.server
-    if isinstance(action, api.Wake):
+    if isinstance(action, api.SetTimer):
         return "wake", action.at_ms, action.token
     if isinstance(action, api.Subscribe):
         return ("subscribe",)
@@ -151,7 +152,7 @@
             ]
         self.trouble = trouble
 
-    def call(self, module: int, action: api.Count, timeout_ms: float) -> api.Total:
+    def call(self, module: int, action: api.AddToCounter, timeout_ms: float) -> api.CounterReply:
         """Answer one call."""
         draw, trouble = self._draw, self.trouble
         took = draw.uniform(0.4, 3.0)
@@ -159,27 +160,29 @@
             took = draw.uniform(0.1, 1.4) * timeout_ms
         side = self._sides[module % len(self._sides)]
         if trouble is CounterTrouble.DEAD or (trouble is CounterTrouble.FORGETFUL and draw.random() < 0.1):
-            return api.Total(name=action.name, verdict=api.Verdict.TIMEOUT, rtt_ms=timeout_ms)
+            return api.CounterReply(name=action.name, verdict=api.Verdict.TIMEOUT, rtt_ms=timeout_ms)
         if trouble is CounterTrouble.UNREACHABLE:
-            return api.Total(name=action.name, verdict=api.Verdict.CONNECT_FAILED, rtt_ms=took)
+            return api.CounterReply(name=action.name, verdict=api.Verdict.CONNECT_FAILED, rtt_ms=took)
         if trouble is CounterTrouble.BUSY and draw.random() < 0.6:
             verdict = draw.choice(
                 (
-                    api.Verdict.FULL,
+                    api.Verdict.QUEUE_FULL,
                     api.Verdict.ERROR,
                     api.Verdict.RESET,
                     api.Verdict.CANCELLED,
-                    api.Verdict.MOOT,
+                    api.Verdict.NOT_SENT,
                 )
             )
-            return api.Total(name=action.name, verdict=verdict, rtt_ms=took)
+            return api.CounterReply(name=action.name, verdict=verdict, rtt_ms=took)
         total = side.get(action.name, 0.0) + action.units
         if action.units > 0 and self._elsewhere and draw.random() < 0.5:
             total += draw.randint(0, 4) * self._elsewhere
         side[action.name] = total
         if took >= timeout_ms:
-            return api.Total(name=action.name, verdict=api.Verdict.TIMEOUT, rtt_ms=timeout_ms)
-        return api.Total(name=action.name, verdict=api.Verdict.OK, rtt_ms=took, total=float(f"{total:.7g}"))
+            return api.CounterReply(name=action.name, verdict=api.Verdict.TIMEOUT, rtt_ms=timeout_ms)
+        return api.CounterReply(
+            name=action.name, verdict=api.Verdict.OK, rtt_ms=took, total=float(f"{total:.7g}")
+        )
 
 
 class Driver:
@@ -198,7 +201,7 @@
         self._counter = CounterModel(draw, stream.elsewhere)
         self._settings = stream.settings
         self._modules = [
-            stream.make(replace(stream.settings, me=number), stream.seed * 100 + number)
+            stream.make(replace(stream.settings, gateway_index=number), stream.seed * 100 + number)
             for number in range(stream.modules)
         ]
         self._doors = list(range(stream.modules))  # which module serves a gateway's new requests
@@ -209,7 +212,7 @@
     def run(self) -> Digest:
         """Play it to its last event."""
         for door in range(self.stream.modules):
-            self._tell_members(self._doors[door], api.Scope.WARM_COPY)
+            self._tell_members(self._doors[door], api.ListScope.CACHED)
             self._later(self._draw.uniform(0.0, 20.0), lambda door=door: self._arrive(door))  # type: ignore[misc]
         self._later(PHASE_MS / 2, self._next_phase)
         while self._events < self.stream.events:
@@ -231,17 +234,17 @@
             zone=zones[number % len(zones)],
             kind="std",
             cell=number % 4,
-            state=api.State.UP,
+            state=api.EndpointState.UP,
             size=draw.choice((1.0, 1.0, 0.5, 2.0)),
             started_ms=started_ms,
         )
         self._servers[number] = ServerModel(info, self.stream.work_ms * draw.uniform(0.6, 1.6))
 
     def _tell_members(
-        self, module: int, scope: api.Scope, servers: tuple[api.Server, ...] | None = None
+        self, module: int, scope: api.ListScope, servers: tuple[api.Server, ...] | None = None
     ) -> None:
         listed = tuple(model.info for model in self._servers.values()) if servers is None else servers
-        self._handle(module, api.Members(scope=scope, servers=listed))
+        self._handle(module, api.EndpointList(scope=scope, servers=listed))
 
     def _change_members(self) -> None:
         draw = self._draw
@@ -249,28 +252,36 @@
         model = self._servers[number]
         change = draw.randrange(6)
         if change == 0:
-            model.info = replace(model.info, state=api.State.DRAINING)
-        elif change == 1 and sum(one.info.state is api.State.UP for one in self._servers.values()) > 2:
-            model.info = replace(model.info, state=api.State.GONE)
+            model.info = replace(model.info, state=api.EndpointState.DRAINING)
+        elif (
+            change == 1 and sum(one.info.state is api.EndpointState.UP for one in self._servers.values()) > 2
+        ):
+            model.info = replace(model.info, state=api.EndpointState.GONE)
         elif change == 2:
             number = max(self._servers) + 1
             self._add_server(number, self._now + draw.uniform(-500.0, 100.0))
         elif change == 3:  # restarted
-            model.info = replace(model.info, state=api.State.UP, started_ms=self._now)
+            model.info = replace(model.info, state=api.EndpointState.UP, started_ms=self._now)
         else:
-            model.info = replace(model.info, state=api.State.UP)
+            model.info = replace(model.info, state=api.EndpointState.UP)
         changed = self._servers[number].info
         for module in self._doors:
             scope = draw.choice(
-                (api.Scope.CHANGES, api.Scope.CHANGES, api.Scope.FULL, api.Scope.LOST, api.Scope.WARM_COPY)
+                (
+                    api.ListScope.CHANGES,
+                    api.ListScope.CHANGES,
+                    api.ListScope.FULL,
+                    api.ListScope.LOST,
+                    api.ListScope.CACHED,
+                )
             )
-            if scope is api.Scope.CHANGES:
+            if scope is api.ListScope.CHANGES:
                 self._tell_members(module, scope, (changed,))
-            elif scope is api.Scope.LOST:
+            elif scope is api.ListScope.LOST:
                 self._tell_members(module, scope, ())
             else:
                 kept = tuple(
-                    one.info for one in self._servers.values() if one.info.state is not api.State.GONE
+                    one.info for one in self._servers.values() if one.info.state is not api.EndpointState.GONE
                 )
                 self._tell_members(module, scope, kept)
         if len(self._servers) > self.stream.servers + 3:
@@ -278,7 +289,7 @@
                 (
                     key
                     for key, one in self._servers.items()
-                    if one.info.state is api.State.GONE and not one.out
+                    if one.info.state is api.EndpointState.GONE and not one.out
                 ),
                 None,
             )
@@ -306,7 +317,7 @@
         if stream.other_settings is not None:
             self._settings = draw.choice((stream.settings, stream.other_settings))
             for door, module in enumerate(self._doors):
-                self._modules[module].retune(replace(self._settings, me=door))
+                self._modules[module].retune(replace(self._settings, gateway_index=door))
         self._later(PHASE_MS * draw.uniform(0.4, 1.6), self._next_phase)
 
     # Clients ----------------------------------------------------------------------------------------------
@@ -329,17 +340,17 @@
             door,
             api.Request(
                 id="",
-                cls=cls.name,
+                request_class=cls.name,
                 plan=plans[customer % len(plans)].name,
                 customer=customer + 1,
                 remaining_ms=draw.choice(
                     (cls.deadline_ms, cls.deadline_ms, cls.deadline_ms * draw.random(), 1.0)
                 ),
                 units=float(draw.randint(1, 4)),
-                spread=spread,
-                first=customer % max(self._settings.gateways, 1),
+                gateway_set_size=spread,
+                first_gateway=customer % max(self._settings.gateway_count, 1),
                 retry=False,
-                reserved=draw.randint(1, 3) if draw.random() < stream.reserved_share else 0,
+                reservation_rank=draw.randint(1, 3) if draw.random() < stream.reserved_share else 0,
             ),
         )
         if self._events % 50 == 0:
@@ -355,12 +366,14 @@
             module,
             draw.choice(
                 (
-                    api.Due(token=0),
-                    api.Left(id="nobody"),
-                    api.Started(id="nobody"),
-                    api.Total(name=12345, verdict=api.Verdict.OK, rtt_ms=1.0, total=3.0),
-                    api.Probed(server=1, verdict=draw.choice(list(api.Verdict)), rtt_ms=2.0, report=(0.5,)),
-                    api.Outcome(
+                    api.TimerFired(token=0),
+                    api.ClientDisconnected(id="nobody"),
+                    api.ResponseStarted(id="nobody"),
+                    api.CounterReply(name=12345, verdict=api.Verdict.OK, rtt_ms=1.0, total=3.0),
+                    api.HealthCheckResult(
+                        server=1, verdict=draw.choice(list(api.Verdict)), rtt_ms=2.0, report=(0.5,)
+                    ),
+                    api.AttemptOutcome(
                         id="nobody",
                         attempt=0,
                         server=draw.choice((1, 9999)),
@@ -386,12 +399,12 @@
         found = self._open.pop(rid, None)
         if found is None:
             return
-        self._handle(found.module, api.Left(id=rid))
+        self._handle(found.module, api.ClientDisconnected(id=rid))
         if found.server is not None and not found.begun:
             self._free(found.server)
             self._handle(
                 found.module,
-                api.Outcome(
+                api.AttemptOutcome(
                     id=rid,
                     attempt=found.attempts - 1,
                     server=found.server,
@@ -419,7 +432,7 @@
             return False
         self.digest.add((self._now, module, [told(action) for action in actions]))
         made = self._modules[module]
-        if isinstance(made, Guarded):
+        if isinstance(made, MonitoredEngine):
             for change in made.take_changes():
                 self.kinds["belief"] = self.kinds.get("belief", 0) + 1
                 self.digest.add((change.at_ms, change.old, change.new, change.sign, change.hidden))
@@ -432,33 +445,33 @@
     def _act(self, module: int, action: api.Action) -> None:
         kind = str(told(action)[0])
         self.kinds[kind] = self.kinds.get(kind, 0) + 1
-        if isinstance(action, api.Send):
+        if isinstance(action, api.SendAttempt):
             self._send(action)
-        elif isinstance(action, api.Cancel):
+        elif isinstance(action, api.CancelAttempt):
             self._later(
                 self._draw.choice((0.0, 0.0, 30.0)), lambda: self._cancelled(action.id, action.attempt)
             )
-        elif isinstance(action, api.Refuse):
+        elif isinstance(action, api.Reject):
             self._refused(action.id, action.retry_after_ms)
         elif isinstance(action, api.Fail):
             self._open.pop(action.id, None)
-        elif isinstance(action, api.Count):
+        elif isinstance(action, api.AddToCounter):
             total = self._counter.call(module, action, self._settings.counter_timeout_ms)
             self._later(total.rtt_ms, lambda: self._answered(module, total))
-        elif isinstance(action, api.Wake):
+        elif isinstance(action, api.SetTimer):
             self._later(action.at_ms - self._now, lambda: self._due(module, action.token))
         elif isinstance(action, api.Subscribe):
-            self._later(5.0, lambda: self._tell_members(module, api.Scope.FULL))
+            self._later(5.0, lambda: self._tell_members(module, api.ListScope.FULL))
 
-    def _answered(self, module: int, total: api.Total) -> None:
+    def _answered(self, module: int, total: api.CounterReply) -> None:
         self._handle(module, total)
 
     def _due(self, module: int, token: int) -> None:
-        self._handle(module, api.Due(token=token))
+        self._handle(module, api.TimerFired(token=token))
 
     # Servers ----------------------------------------------------------------------------------------------
 
-    def _send(self, action: api.Send) -> None:
+    def _send(self, action: api.SendAttempt) -> None:
         found, model, draw = self._open[action.id], self._servers[action.server], self._draw
         number = found.attempts
         found.attempts, found.server, found.sent_ms, found.begun = number + 1, action.server, self._now, False
@@ -469,7 +482,7 @@
             case ServerTrouble.SLOW:
                 took *= 6.0
             case ServerTrouble.FULL:
-                took, verdict = draw.uniform(0.5, 2.0), api.Verdict.FULL
+                took, verdict = draw.uniform(0.5, 2.0), api.Verdict.QUEUE_FULL
             case ServerTrouble.FAILING if draw.random() < 0.7:
                 took, verdict = draw.uniform(0.5, 20.0), api.Verdict.ERROR
             case ServerTrouble.SILENT:
@@ -480,10 +493,10 @@
                 took, verdict = draw.uniform(0.5, 250.0), api.Verdict.CONNECT_FAILED
             case _:
                 if draw.random() < 0.01:
-                    took, verdict = 1.0, api.Verdict.MOOT
+                    took, verdict = 1.0, api.Verdict.NOT_SENT
         if took >= action.timeout_ms:
             took, verdict = action.timeout_ms, api.Verdict.TIMEOUT
-        if verdict is api.Verdict.OK and found.request.cls in self.stream.streamed:
+        if verdict is api.Verdict.OK and found.request.request_class in self.stream.streamed:
             self._later(took, lambda: self._begin(action.id, number))
             took *= 1.5
         self._later(took, lambda: self._ended(action.id, number, verdict))
@@ -496,7 +509,7 @@
         found = self._is_out(rid, attempt)
         if found is not None:
             found.begun = True
-            self._handle(found.module, api.Started(id=rid))
+            self._handle(found.module, api.ResponseStarted(id=rid))
 
     def _free(self, server: int) -> None:
         if server in self._servers:
@@ -525,7 +538,7 @@
             del self._open[rid]
         self._handle(
             found.module,
-            api.Outcome(
+            api.AttemptOutcome(
                 id=rid,
                 attempt=attempt,
                 server=server,
@@ -542,23 +555,25 @@
     def _hand_over(self) -> None:
         """The first gateway's next process takes over; what is open stays with the old one."""
         old = self._modules[self._doors[0]]
-        new = self.stream.make(replace(self._settings, me=0), self.stream.seed * 100 + 99)
-        if not isinstance(old, Gateway) or not isinstance(new, Gateway):
+        new = self.stream.make(replace(self._settings, gateway_index=0), self.stream.seed * 100 + 99)
+        if not isinstance(old, DecisionEngine) or not isinstance(new, DecisionEngine):
             raise TypeError("only a module without a watch hands over")
         number = len(self._modules)
         self._modules.append(new)
         self._doors[0] = number
-        self._tell_members(number, api.Scope.WARM_COPY)
+        self._tell_members(number, api.ListScope.CACHED)
         names = {key: f"host-{key}" for key in self._servers if key % 7}
-        handed = state_snapshot.give(old, names)
+        handed = state_snapshot.take_snapshot(old, names)
         line, _, body = state_snapshot.encode(handed).partition(b"\n")
         checksum, length = state_snapshot.read_head(line)
         if length != len(body):
             raise ValueError("the head tells another length")
         numbers = {name: key for key, name in names.items() if key % 5}
-        actions = state_snapshot.take(new, self._now, state_snapshot.decode(body, checksum), numbers)
+        actions = state_snapshot.restore_snapshot(
+            new, self._now, state_snapshot.decode(body, checksum), numbers
+        )
         self.digest.add((self._now, number, [told(action) for action in actions]))
         self.kinds["handover"] = self.kinds.get("handover", 0) + len(actions)
-        state_snapshot.given(old, handed)
+        state_snapshot.mark_transferred(old, handed)
         for action in actions:
             self._act(number, action)
