--- a/tests/support/policy_drive.py
+++ b/tests/support/policy_drive.py
@@ -8,12 +8,14 @@
 from dataclasses import replace
 
 from badgeryoke.decisions import interface as api
-from badgeryoke.decisions.policy.engine import Gateway
+from badgeryoke.decisions.policy.engine import DecisionEngine
 from tests.support import samples
 from tests.support.canonical import canonical
 
-OPEN_CAPPED = api.Plan("open", open_limit=3)
-SETTINGS = replace(samples.SETTINGS, plans=(samples.PLAIN, samples.CAPPED, OPEN_CAPPED), max_units=2.0)
+OPEN_CAPPED = api.Plan("open", concurrency_limit=3)
+SETTINGS = replace(
+    samples.SETTINGS, plans=(samples.PLAIN, samples.CAPPED, OPEN_CAPPED), max_request_units=2.0
+)
 SERVERS = (samples.server(1), samples.server(2), samples.server(3, "b"), samples.server(4, "b"))
 FRESH_AT = samples.START + 6_000.0
 FRESH = samples.server(5, started=FRESH_AT - 50.0)
@@ -21,12 +23,12 @@
 CLASSES = ("read", "write", "pay")
 VERDICTS = (api.Verdict.OK,) * 12 + (
     api.Verdict.ERROR,
-    api.Verdict.FULL,
+    api.Verdict.QUEUE_FULL,
     api.Verdict.CONNECT_FAILED,
     api.Verdict.TIMEOUT,
     api.Verdict.RESET,
 )
-COUNTER_VERDICTS = (api.Verdict.OK,) * 9 + (api.Verdict.TIMEOUT, api.Verdict.FULL)
+COUNTER_VERDICTS = (api.Verdict.OK,) * 9 + (api.Verdict.TIMEOUT, api.Verdict.QUEUE_FULL)
 OTHERS_PER_CALL = 0.2  # units that another gateway tells the counter between two calls
 ARRIVAL_MS, ANSWER_MS, COUNTER_MS = 12.0, 60.0, (1.0, 30.0)
 
@@ -34,7 +36,7 @@
 class Drive:
     """Plays events in the order of their times and answers the actions they cause."""
 
-    def __init__(self, gateway: Gateway, seed: int, now: float) -> None:
+    def __init__(self, gateway: DecisionEngine, seed: int, now: float) -> None:
         self.gateway, self.now = gateway, now
         self._random = random.Random(seed)
         self._prefix = f"d{seed}-"
@@ -65,15 +67,15 @@
         """Have the answers to these actions come."""
         for action in actions:
             match action:
-                case api.Send():
+                case api.SendAttempt():
                     self._served(action)
-                case api.Count(name=name, units=units):
+                case api.AddToCounter(name=name, units=units):
                     self._counted(name, units)
-                case api.Wake(at_ms=at, token=token):
-                    self.schedule(max(at, self.now), api.Due(token))
-                case api.Cancel(id=request, attempt=attempt):
+                case api.SetTimer(at_ms=at, token=token):
+                    self.schedule(max(at, self.now), api.TimerFired(token))
+                case api.CancelAttempt(id=request, attempt=attempt):
                     self.schedule(
-                        self.now, api.Outcome(request, attempt, 1, api.Verdict.CANCELLED, 1.0, False)
+                        self.now, api.AttemptOutcome(request, attempt, 1, api.Verdict.CANCELLED, 1.0, False)
                     )
                 case _:
                     pass
@@ -94,9 +96,9 @@
         )
         self.schedule(at, request)
         if draw.random() < 0.05:
-            self.schedule(at + 20.0, api.Left(request.id))
+            self.schedule(at + 20.0, api.ClientDisconnected(request.id))
 
-    def _served(self, send: api.Send) -> None:
+    def _served(self, send: api.SendAttempt) -> None:
         attempt = self._attempts[send.id]
         self._attempts[send.id] += 1
         rtt = self._random.expovariate(1 / ANSWER_MS)
@@ -107,7 +109,7 @@
     def _counted(self, name: int, units: float) -> None:
         verdict = self._random.choice(COUNTER_VERDICTS)
         rtt = self._random.uniform(*COUNTER_MS)
-        if verdict is not api.Verdict.FULL:
+        if verdict is not api.Verdict.QUEUE_FULL:
             self._totals[name] += units + OTHERS_PER_CALL
         total = self._totals[name] if verdict is api.Verdict.OK else 0.0
-        self.schedule(self.now + rtt, api.Total(name, verdict, rtt, total))
+        self.schedule(self.now + rtt, api.CounterReply(name, verdict, rtt, total))
--- a/tests/support/policy_fleet.py
+++ b/tests/support/policy_fleet.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from badgeryoke.decisions import interface as api
-from badgeryoke.decisions.policy.engine import Gateway
+from badgeryoke.decisions.policy.engine import DecisionEngine
 from tests.support.samples import SETTINGS, START
 
 
@@ -30,8 +30,11 @@
         **settings: Any,
     ) -> None:
         self.draw = random.Random(seed)
-        made = {"plans": (api.Plan("plain"),), "has_counter": False, "gateways": gateways, **settings}
-        self.made = [Gateway(replace(SETTINGS, me=n, **made), seed * 1000 + n) for n in range(gateways)]
+        made = {"plans": (api.Plan("plain"),), "has_counter": False, "gateway_count": gateways, **settings}
+        self.made = [
+            DecisionEngine(replace(SETTINGS, gateway_index=n, **made), seed * 1000 + n)
+            for n in range(gateways)
+        ]
         self.work, self.cores, self.now = work, cores, START
         self.dead: set[int] = set()  # servers that never answer
         self.out: dict[int, int] = defaultdict(int)
@@ -42,10 +45,10 @@
         self._open: dict[tuple[int, str], tuple[int, int, float]] = {}  # attempt, server, since
         self.tell(servers)
 
-    def tell(self, servers: Iterable[api.Server], scope: api.Scope = api.Scope.FULL) -> None:
+    def tell(self, servers: Iterable[api.Server], scope: api.ListScope = api.ListScope.FULL) -> None:
         """All gateways hear of a list."""
         for one in self.made:
-            one.handle(self.now, api.Members(scope, tuple(servers)))
+            one.handle(self.now, api.EndpointList(scope, tuple(servers)))
 
     def _later(self, at: float, gateway: int, event: api.Event) -> None:
         self._count += 1
@@ -63,7 +66,7 @@
                 self._later(at, n, api.Request(rid, "read", "plain", self._count, 4000.0, 1.0, 1))
         while self._due and self._due[0][0] < until:
             self.now, _, n, event = heapq.heappop(self._due)
-            if isinstance(event, api.Outcome):
+            if isinstance(event, api.AttemptOutcome):
                 if self._open.get((n, event.id), (None,))[0] != event.attempt:
                     continue
                 self._end(n, event)
@@ -71,7 +74,7 @@
                 self._act(n, self.made[n].handle(self.now, event))
         self.now = until
 
-    def _end(self, n: int, event: api.Outcome) -> None:
+    def _end(self, n: int, event: api.AttemptOutcome) -> None:
         self.out[self._open.pop((n, event.id))[1]] -= 1
         self.served += event.verdict is api.Verdict.OK
         self._act(n, self.made[n].handle(self.now, event))
@@ -79,23 +82,23 @@
     def _act(self, n: int, actions: list[api.Action]) -> None:
         for action in actions:
             match action:
-                case api.Send(id=rid, server=server):
+                case api.SendAttempt(id=rid, server=server):
                     attempt = len(self.made[n]._jobs[rid].attempts) - 1
                     self.sends.append((self.now, n, server))
                     self.out[server] += 1
                     self._open[n, rid] = attempt, server, self.now
                     took = self.work(self.draw) * max(1.0, self.out[server] / self.cores)
-                    end = api.Outcome(rid, attempt, server, api.Verdict.OK, took, True)
+                    end = api.AttemptOutcome(rid, attempt, server, api.Verdict.OK, took, True)
                     if server not in self.dead:
                         self._later(self.now + took, n, end)
-                case api.Wake(at_ms=at, token=token):
-                    self._later(at, n, api.Due(token))
-                case api.Cancel(id=rid, attempt=attempt):
+                case api.SetTimer(at_ms=at, token=token):
+                    self._later(at, n, api.TimerFired(token))
+                case api.CancelAttempt(id=rid, attempt=attempt):
                     self.cancelled += 1
                     server, since = self._open[n, rid][1:]
                     took = self.now - since
-                    self._end(n, api.Outcome(rid, attempt, server, api.Verdict.CANCELLED, took, False))
-                case api.Refuse():
+                    self._end(n, api.AttemptOutcome(rid, attempt, server, api.Verdict.CANCELLED, took, False))
+                case api.Reject():
                     self.refused += 1
                 case _:
                     pass
--- a/tests/support/samples.py
+++ b/tests/support/samples.py
@@ -7,16 +7,18 @@
 from typing import Any, TypeVar
 
 from badgeryoke.decisions import interface as api
-from badgeryoke.decisions.policy.engine import Gateway
+from badgeryoke.decisions.policy.engine import DecisionEngine
 
-SAFE = api.RequestClass("read", 1000.0, 4000.0, api.Effect.SAFE)
-KEYED = api.RequestClass("write", 1000.0, 4000.0, api.Effect.KEYED, api.Group.ZONE, 3000.0)
-UNSAFE = api.RequestClass("pay", 1000.0, 4000.0, api.Effect.UNSAFE)
+SAFE = api.RequestClass("read", 1000.0, 4000.0, api.Idempotency.IDEMPOTENT)
+KEYED = api.RequestClass(
+    "write", 1000.0, 4000.0, api.Idempotency.WITH_KEY, api.DeduplicationScope.ZONE, 3000.0
+)
+UNSAFE = api.RequestClass("pay", 1000.0, 4000.0, api.Idempotency.NOT_IDEMPOTENT)
 PLAIN = api.Plan("plain", rate=1.0, burst=4.0)
 CAPPED = api.Plan("capped", rate=5.0, burst=5.0, ceiling_rate=11.0, ceiling_burst=11.0, ceiling_slack=2.0)
 SETTINGS = api.Settings(
-    me=0,
-    gateways=2,
+    gateway_index=0,
+    gateway_count=2,
     zone="a",
     tick_ms=2.0,
     classes=(SAFE, KEYED, UNSAFE),
@@ -25,27 +27,29 @@
     counter_timeout_ms=50.0,
     max_attempts=3,
     can_cancel=True,
-    cold_from=0.25,
-    warm_within_ms=10_000.0,
-    fall_multiple=2.0,
-    fall_window_ms=1000.0,
-    answer_slack_ms=8.0,
+    slow_start_fraction=0.25,
+    slow_start_ms=10_000.0,
+    overload_multiple=2.0,
+    overload_window_ms=1000.0,
+    response_slack_ms=8.0,
 )
 START = 50_000.0
 A = TypeVar("A", bound=api.Action)
 
 
-def server(number: int, zone: str = "a", state: api.State = api.State.UP, started: float = 0.0) -> api.Server:
+def server(
+    number: int, zone: str = "a", state: api.EndpointState = api.EndpointState.UP, started: float = 0.0
+) -> api.Server:
     """One member."""
     return api.Server(number, zone, "std", 0, state, 1.0, started)
 
 
-def gateway(servers: Iterable[api.Server] | None = None, seed: int = 1, **changes: Any) -> Gateway:
+def gateway(servers: Iterable[api.Server] | None = None, seed: int = 1, **changes: Any) -> DecisionEngine:
     """A gateway that knows its servers; four warm ones in two zones unless told otherwise."""
-    made = Gateway(replace(SETTINGS, **changes), seed)
+    made = DecisionEngine(replace(SETTINGS, **changes), seed)
     if servers is None:
         servers = [server(1), server(2), server(3, "b"), server(4, "b")]
-    made.handle(START, api.Members(api.Scope.WARM_COPY, tuple(servers)))
+    made.handle(START, api.EndpointList(api.ListScope.CACHED, tuple(servers)))
     return made
 
 
@@ -63,11 +67,15 @@
 
 
 def outcome(
-    send: api.Send, verdict: api.Verdict, attempt: int = 0, rtt: float = 50.0, ended: bool | None = None
-) -> api.Outcome:
+    send: api.SendAttempt,
+    verdict: api.Verdict,
+    attempt: int = 0,
+    rtt: float = 50.0,
+    ended: bool | None = None,
+) -> api.AttemptOutcome:
     """The end of an attempt; a good one ends the request."""
     done = verdict is api.Verdict.OK if ended is None else ended
-    return api.Outcome(send.id, attempt, send.server, verdict, rtt, done)
+    return api.AttemptOutcome(send.id, attempt, send.server, verdict, rtt, done)
 
 
 def only(actions: Iterable[api.Action], kind: type[A]) -> list[A]:
@@ -76,7 +84,7 @@
 
 
 def answer(
-    made: Gateway, now: float, counts: Iterable[api.Count], totals: dict[int, float]
+    made: DecisionEngine, now: float, counts: Iterable[api.AddToCounter], totals: dict[int, float]
 ) -> list[api.Action]:
     """Play the counter: add to the totals and give each answer back, to the calls that follow as well."""
     out: list[api.Action] = []
@@ -84,15 +92,15 @@
     while todo:
         count = todo.pop(0)
         totals[count.name] = totals.get(count.name, 0.0) + count.units
-        actions = made.handle(now, api.Total(count.name, api.Verdict.OK, 2.0, totals[count.name]))
-        out += [action for action in actions if not isinstance(action, api.Count)]
-        todo += only(actions, api.Count)
+        actions = made.handle(now, api.CounterReply(count.name, api.Verdict.OK, 2.0, totals[count.name]))
+        out += [action for action in actions if not isinstance(action, api.AddToCounter)]
+        todo += only(actions, api.AddToCounter)
     return out
 
 
-def admit(made: Gateway, now: float, event: api.Request, totals: dict[int, float]) -> list[api.Action]:
+def admit(made: DecisionEngine, now: float, event: api.Request, totals: dict[int, float]) -> list[api.Action]:
     """Bring a request and answer the calls it causes."""
     actions = made.handle(now, event)
-    return [a for a in actions if not isinstance(a, api.Count)] + answer(
-        made, now, only(actions, api.Count), totals
+    return [a for a in actions if not isinstance(a, api.AddToCounter)] + answer(
+        made, now, only(actions, api.AddToCounter), totals
     )
--- a/tests/support/stand_ins.py
+++ b/tests/support/stand_ins.py
@@ -15,9 +15,9 @@
 from typing import Any
 
 from badgeryoke.decisions import interface as api
-from badgeryoke.gateway.application import App
+from badgeryoke.gateway.application import GatewayApplication
 from badgeryoke.gateway.config.platform_file import Config, DiameterConfig
-from badgeryoke.gateway.discovery.client import Roster, read_roster
+from badgeryoke.gateway.discovery.client import EndpointSnapshot, read_endpoint_snapshot
 
 NOW_MS = 1_790_000_000_000.0  # what the clock says where it is made to stand still
 NTP = 2_208_988_800
@@ -368,29 +368,31 @@
 
 # A gateway --------------------------------------------------------------------------------------------
 
-SAFE = api.RequestClass("balance-check", 30_000.0, 60_000.0, api.Effect.SAFE)
-KEYED = api.RequestClass("load-send", 30_000.0, 60_000.0, api.Effect.KEYED, api.Group.ALL, 1000.0, 2.0)
+SAFE = api.RequestClass("balance-check", 30_000.0, 60_000.0, api.Idempotency.IDEMPOTENT)
+KEYED = api.RequestClass(
+    "load-send", 30_000.0, 60_000.0, api.Idempotency.WITH_KEY, api.DeduplicationScope.ALL, 1000.0, 2.0
+)
 
 
 def settings(me: int = 0, **changes: Any) -> api.Settings:
     """Settings under which a decision depends on nothing that a busy machine could change."""
     given: dict[str, Any] = {
-        "me": me,
-        "gateways": 2,
+        "gateway_index": me,
+        "gateway_count": 2,
         "zone": "a",
         "tick_ms": 4.0,
         "classes": (SAFE, KEYED),
         "plans": (
-            api.Plan("dealer", rate=0.001, burst=1000.0, over_cost=1.2),
-            api.Plan("small", rate=0.001, burst=12.0, over_cost=1.2),
+            api.Plan("dealer", rate=0.001, burst=1000.0, over_quota_cost=1.2),
+            api.Plan("small", rate=0.001, burst=12.0, over_quota_cost=1.2),
             api.Plan("free"),
         ),
         "has_counter": True,
         "counter_timeout_ms": 10_000.0,
-        "max_units": 6.0,
+        "max_request_units": 6.0,
         "max_attempts": 3,
         "can_cancel": True,
-        "warm_within_ms": 0.0,
+        "slow_start_ms": 0.0,
     }
     return api.Settings(**{**given, **changes})
 
@@ -398,7 +400,7 @@
 def config(
     discovery: int,
     counter: int | None,
-    known: Roster | None = None,
+    known: EndpointSnapshot | None = None,
     diameter: bool = False,
     me: int = 0,
     **changes: Any,
@@ -433,14 +435,16 @@
     )
 
 
-def roster(*servers: dict[str, Any]) -> Roster:
-    return read_roster({"version": 1, "full": True, "servers": list(servers)})
+def roster(*servers: dict[str, Any]) -> EndpointSnapshot:
+    return read_endpoint_snapshot({"version": 1, "full": True, "servers": list(servers)})
 
 
 @contextlib.asynccontextmanager
-async def gateway(made: Config, clock: Callable[[], float] = lambda: NOW_MS) -> AsyncIterator[App]:
+async def gateway(
+    made: Config, clock: Callable[[], float] = lambda: NOW_MS
+) -> AsyncIterator[GatewayApplication]:
     """A gateway that is ready, and is ended in order."""
-    app = App(made, clock)
+    app = GatewayApplication(made, clock)
     app.start()
     while made.known is not None and not app._hosts.ready:
         await asyncio.sleep(0)
@@ -454,7 +458,7 @@
 @contextlib.asynccontextmanager
 async def one_gateway(
     *, script: Any = None, kind: str = "std", counter: int | None = None, diameter: bool = False
-) -> AsyncIterator[tuple[App, Any, Discovery]]:
+) -> AsyncIterator[tuple[GatewayApplication, Any, Discovery]]:
     """A gateway before one server of the kind."""
     made = DiameterServer(script=script) if kind == "diameter" else Backend(script=script)
     async with made as node, Discovery(entry("a", node.port, kind=kind)) as list_:
--- a/tests/testbed/test_cluster_simulation.py
+++ b/tests/testbed/test_cluster_simulation.py
@@ -10,8 +10,16 @@
 
 import pytest
 
-from badgeryoke.cluster.events import Entries, HardState, NodeEvent, Snapshot, Store, StoreBroke, Stored
-from badgeryoke.cluster.messages import Config, Entry
+from badgeryoke.cluster.events import (
+    Entries,
+    HardState,
+    NodeEvent,
+    PersistRecords,
+    RecordsPersisted,
+    Snapshot,
+    StorageFailure,
+)
+from badgeryoke.cluster.messages import GroupConfiguration, LogEntry
 from badgeryoke.testbed.checkers.history_checker import Op, judge, linear
 from badgeryoke.testbed.cluster_simulation.clock import Clock
 from badgeryoke.testbed.cluster_simulation.disk import Disk
@@ -135,11 +143,11 @@
         self.disk.start(1)
 
     def put(self, seq: int, *records: Any) -> None:
-        self.disk.put(Store("a", seq, records))
+        self.disk.put(PersistRecords("a", seq, records))
 
 
 def entries(first: int, last: int, term: int) -> Entries:
-    return Entries(tuple(Entry(index, term, 1, b"") for index in range(first, last + 1)))
+    return Entries(tuple(LogEntry(index, term, 1, b"") for index in range(first, last + 1)))
 
 
 def test_a_store_is_told_when_it_is_durable_and_a_crash_loses_the_rest() -> None:
@@ -147,22 +155,22 @@
     shelf.put(1, HardState(3, "x/1"), entries(1, 4, 3))
     assert shelf.told == [] and not shelf.disk.groups
     shelf.calendar.run(10.0)
-    assert shelf.told == [Stored("a", 1)]
+    assert shelf.told == [RecordsPersisted("a", 1)]
     shelf.put(2, entries(3, 3, 4))
     shelf.put(3, entries(4, 9, 4))  # behind the fsync that is under way: lost for sure
     shelf.disk.crash()
     shelf.calendar.run(100.0)
     saved = shelf.disk.start(2)["a"]
-    assert shelf.told == [Stored("a", 1)] and (saved.term, saved.vote) == (3, "x/1")
+    assert shelf.told == [RecordsPersisted("a", 1)] and (saved.term, saved.vote) == (3, "x/1")
     assert [entry.index for entry in saved.entries] in ([1, 2, 3, 4], [1, 2, 3])
 
 
 def test_a_snapshot_takes_the_place_of_entries_and_keeps_only_a_tail_that_goes_on_from_it() -> None:
     shelf = Shelf()
-    shelf.put(1, entries(1, 6, 2), Snapshot(4, 2, Config(("a/1",)), b"x"))
+    shelf.put(1, entries(1, 6, 2), Snapshot(4, 2, GroupConfiguration(("a/1",)), b"x"))
     shelf.calendar.run(10.0)
     assert [entry.index for entry in shelf.disk.groups["a"].entries] == [5, 6]
-    shelf.put(2, Snapshot(5, 3, Config(("a/1",)), b"y"))
+    shelf.put(2, Snapshot(5, 3, GroupConfiguration(("a/1",)), b"y"))
     shelf.calendar.run(20.0)
     assert shelf.disk.groups["a"].entries == [] and shelf.disk.groups["a"].last == 5
 
@@ -172,7 +180,7 @@
     shelf.disk.full = True
     shelf.put(1, HardState(1, ""))
     shelf.calendar.run(10.0)
-    assert isinstance(shelf.told[0], StoreBroke) and shelf.told[0].error.code == "store-failed"
+    assert isinstance(shelf.told[0], StorageFailure) and shelf.told[0].error.code == "store-failed"
     before = shelf.disk.incarnation
     shelf.disk.wipe()
     assert shelf.disk.incarnation != before and not shelf.disk.groups and not shelf.disk.full
@@ -190,7 +198,7 @@
 
 
 def test_a_failing_plan_is_shrunk_and_can_be_kept(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(Config, "majority", lambda self: max(len(self.voters) // 2, 1))
+    monkeypatch.setattr(GroupConfiguration, "majority", lambda self: max(len(self.voters) // 2, 1))
     small = shrink(replace(draw(5, 3), length_ms=6000.0), most=25)
     assert small.names and len(small.plan.faults) <= 1
     assert eval(small.plan.text(), {"Plan": Plan, "Fault": Fault}) == small.plan
--- a/tests/testbed/test_planted_faults.py
+++ b/tests/testbed/test_planted_faults.py
@@ -10,12 +10,18 @@
 
 import pytest
 
-from badgeryoke.cluster.connection_limits import Connections, Keeper
-from badgeryoke.cluster.events import Done, Saved, Send, Stored
-from badgeryoke.cluster.key_value import Promise
-from badgeryoke.cluster.messages import Config, Vote
-from badgeryoke.cluster.raft.node import Replica, Role
-from badgeryoke.cluster.rolling_restart.restart import STEPS, Facts, Rolls, Stand, Step
+from badgeryoke.cluster.connection_limits import ConnectionLeaseHolder, ConnectionLimits
+from badgeryoke.cluster.events import OperationCompleted, PersistedGroup, RecordsPersisted, SendMessage
+from badgeryoke.cluster.key_value import PutValue
+from badgeryoke.cluster.messages import GroupConfiguration, RequestVoteReply
+from badgeryoke.cluster.raft.node import RaftNode, Role
+from badgeryoke.cluster.rolling_restart.restart import (
+    STEPS,
+    ClusterConditions,
+    GatewayEvent,
+    GatewayPhase,
+    RollingRestarts,
+)
 from badgeryoke.cluster.timings import Timings
 from badgeryoke.testbed.cluster_simulation.disk import Disk
 from badgeryoke.testbed.cluster_simulation.fault_plan import Plan, draw
@@ -40,37 +46,37 @@
 def unstored_vote(patch: pytest.MonkeyPatch) -> None:
     """A vote is told before it is stored, and the code's own check sleeps: the referee compares with the
     disk."""
-    whole = Replica._tell_stored
+    whole = RaftNode._tell_stored
 
-    def told(self: Replica, to: str, message: Any) -> None:
-        if isinstance(message, Vote):
-            self._out.append(Send(to, message))
+    def told(self: RaftNode, to: str, message: Any) -> None:
+        if isinstance(message, RequestVoteReply):
+            self._out.append(SendMessage(to, message))
         else:
             whole(self, to, message)
 
-    patch.setattr(Replica, "_tell_stored", told)
+    patch.setattr(RaftNode, "_tell_stored", told)
 
 
 def unstored_entries(patch: pytest.MonkeyPatch) -> None:
     """What is told when it is stored is told at once: the code's own check finds it."""
-    patch.setattr(Replica, "_tell_stored", Replica._tell)
+    patch.setattr(RaftNode, "_tell_stored", RaftNode._tell)
 
 
 def older_terms(patch: pytest.MonkeyPatch) -> None:
     """Copies of an older term's entry are counted."""
-    patch.setattr(Replica, "_may_count", lambda self, index: True)
+    patch.setattr(RaftNode, "_may_count", lambda self, index: True)
 
 
 def votes_twice(patch: pytest.MonkeyPatch) -> None:
     """A member votes for whoever asks."""
-    patch.setattr(Replica, "_may_vote", lambda self, who: True)
+    patch.setattr(RaftNode, "_may_vote", lambda self, who: True)
 
 
 def forgotten_vote(patch: pytest.MonkeyPatch) -> None:
     """A start forgets for whom the member voted."""
     whole = Disk.start
 
-    def start(self: Disk, life: int) -> dict[str, Saved]:
+    def start(self: Disk, life: int) -> dict[str, PersistedGroup]:
         return {name: replace(saved, vote="") for name, saved in whole(self, life).items()}
 
     patch.setattr(Disk, "start", start)
@@ -80,7 +86,7 @@
     """A start forgets term and vote."""
     whole = Disk.start
 
-    def start(self: Disk, life: int) -> dict[str, Saved]:
+    def start(self: Disk, life: int) -> dict[str, PersistedGroup]:
         return {
             name: replace(saved, term=saved.entries[-1].term if saved.entries else 0, vote="")
             for name, saved in whole(self, life).items()
@@ -95,7 +101,9 @@
     def sync(self: Disk) -> None:
         self._under_way, self._asked = self._asked, []
         for store in self._under_way:
-            self._calendar.at(self._calendar.now, self._tell, self._life, Stored(store.group, store.seq))
+            self._calendar.at(
+                self._calendar.now, self._tell, self._life, RecordsPersisted(store.group, store.seq)
+            )
         self._calendar.at(self._calendar.now + 30.0, self._quietly, self._life)  # type: ignore[attr-defined]
 
     def quietly(self: Disk, life: int) -> None:
@@ -112,47 +120,47 @@
 
 def applied_twice(patch: pytest.MonkeyPatch) -> None:
     """After a change of leader its last entry is applied again."""
-    whole = Replica._begin_lead
+    whole = RaftNode._begin_lead
 
-    def begin(self: Replica, now: float) -> None:
+    def begin(self: RaftNode, now: float) -> None:
         if self.applied > self._log.base:
             self.applied -= 1
         whole(self, now)
 
-    patch.setattr(Replica, "_begin_lead", begin)
+    patch.setattr(RaftNode, "_begin_lead", begin)
 
 
 def ids_forgotten(patch: pytest.MonkeyPatch) -> None:
     """A repeat of a call takes effect again."""
-    patch.setattr(Promise, "once", False)
+    patch.setattr(PutValue, "once", False)
 
 
 def reads_alone(patch: pytest.MonkeyPatch) -> None:
     """Who believes that it leads answers reads at once, and goes on believing it unheard."""
 
-    def read(self: Replica, now: float, token: str) -> None:
+    def read(self: RaftNode, now: float, token: str) -> None:
         error = self._refusal(0)
-        self._out.append(Done(token, error))
+        self._out.append(OperationCompleted(token, error))
 
-    patch.setattr(Replica, "_read", read)
-    patch.setattr(Replica, "_has_quorum", lambda self, now: True)
+    patch.setattr(RaftNode, "_read", read)
+    patch.setattr(RaftNode, "_has_quorum", lambda self, now: True)
 
 
 def short_logs(patch: pytest.MonkeyPatch) -> None:
     """A vote is given whatever the asker's log lacks."""
-    whole = Replica._on_ask
+    whole = RaftNode._on_ask
 
-    def ask(self: Replica, now: float, who: str, said: Any) -> None:
+    def ask(self: RaftNode, now: float, who: str, said: Any) -> None:
         whole(self, now, who, type(said)(said.group, said.term, 1 << 40, 1 << 40, said.pre, said.lead))
 
-    patch.setattr(Replica, "_on_ask", ask)
+    patch.setattr(RaftNode, "_on_ask", ask)
 
 
 def cuts_all(patch: pytest.MonkeyPatch) -> None:
     """An append cuts the log behind it, also one that came late."""
-    whole = Replica._take
+    whole = RaftNode._take
 
-    def take(self: Replica, entries: tuple[Any, ...]) -> bool:
+    def take(self: RaftNode, entries: tuple[Any, ...]) -> bool:
         if (
             entries
             and self._log.base < entries[0].index <= self._log.last
@@ -161,19 +169,19 @@
             return False
         return whole(self, entries)
 
-    patch.setattr(Replica, "_take", take)
+    patch.setattr(RaftNode, "_take", take)
 
 
 def minority(patch: pytest.MonkeyPatch) -> None:
     """One copy fewer than a majority is enough."""
-    patch.setattr(Config, "majority", lambda self: max(len(self.voters) // 2, 1))
+    patch.setattr(GroupConfiguration, "majority", lambda self: max(len(self.voters) // 2, 1))
 
 
 def snapshot_without_ids(patch: pytest.MonkeyPatch) -> None:
     """A snapshot leaves one promise out."""
-    from badgeryoke.cluster.key_value import Promises
+    from badgeryoke.cluster.key_value import KeyValueStore
 
-    patch.setattr(Promises, "dump", lambda self: dict(list(self._kept.items())[1:]))
+    patch.setattr(KeyValueStore, "dump", lambda self: dict(list(self._kept.items())[1:]))
 
 
 FEW = {"copies": 3, "groups": 2, "keys": 3, "proposals": 60.0}
@@ -193,9 +201,9 @@
 
 def learners_count(patch: pytest.MonkeyPatch) -> None:
     """What a learner has stored counts for a majority."""
-    whole = Replica._advance
+    whole = RaftNode._advance
 
-    def advance(self: Replica, now: float) -> None:
+    def advance(self: RaftNode, now: float) -> None:
         whole(self, now)
         if self.config.learners and self.role is Role.LEADER:
             most = sorted((self._safe_index, *(peer.match for peer in self._peers.values())), reverse=True)
@@ -203,7 +211,7 @@
             if self._may_count(at):
                 self._commit_to(now, min(at, self._log.last))
 
-    patch.setattr(Replica, "_advance", advance)
+    patch.setattr(RaftNode, "_advance", advance)
 
 
 def no_clock_margin(patch: pytest.MonkeyPatch) -> None:
@@ -214,40 +222,44 @@
 def silence_frees(patch: pytest.MonkeyPatch) -> None:
     """What a holder has is free when nothing was heard of it for half a lease."""
     patch.setattr(Timings, "outlast", lambda self: self.lease_ms / 2.0)
-    patch.setattr(Connections, "patience", lambda self, idle_ms: self.lease_ms() / 2.0)
+    patch.setattr(ConnectionLimits, "patience", lambda self, idle_ms: self.lease_ms() / 2.0)
 
 
 def no_idle_time(patch: pytest.MonkeyPatch) -> None:
     """A lost machine's connections count as closed when its lease is over."""
-    patch.setattr(Connections, "lease_ms", lambda self: self._timings.lease_ms)
-    patch.setattr(Keeper, "lease_ms", 2000.0, raising=False)
+    patch.setattr(ConnectionLimits, "lease_ms", lambda self: self._timings.lease_ms)
+    patch.setattr(ConnectionLeaseHolder, "lease_ms", 2000.0, raising=False)
     patch.setattr("badgeryoke.cluster.connection_limits.LEASES", 1.0)
-    patch.setattr(Connections, "patience", lambda self, idle_ms: self._timings.outlast())
+    patch.setattr(ConnectionLimits, "patience", lambda self, idle_ms: self._timings.outlast())
 
 
 def returned_too_soon(patch: pytest.MonkeyPatch) -> None:
     """A part is given back when its connections are being closed, not when they are."""
-    patch.setattr(Keeper, "closing", lambda self, server: self.closed(server))
+    patch.setattr(ConnectionLeaseHolder, "closing", lambda self, server: self.closed(server))
 
 
 def opened_before_granted(patch: pytest.MonkeyPatch) -> None:
     """A gateway opens what it has asked for."""
 
-    def may_open(self: Keeper, now: float, server: str) -> bool:
+    def may_open(self: ConnectionLeaseHolder, now: float, server: str) -> bool:
         return self.pools[server].open < self.pools[server].need
 
-    patch.setattr(Keeper, "may_open", may_open)
+    patch.setattr(ConnectionLeaseHolder, "may_open", may_open)
 
 
 def unwatched_copies(patch: pytest.MonkeyPatch) -> None:
     """A wave looks at no copies."""
-    patch.setattr(Rolls, "count", lambda self, view, roll, wave, leaving="": Facts(0, 1, 0, -1.0, 0.0))
+    patch.setattr(
+        RollingRestarts,
+        "count",
+        lambda self, view, roll, wave, leaving="": ClusterConditions(0, 1, 0, -1.0, 0.0),
+    )
 
 
 def any_round(patch: pytest.MonkeyPatch) -> None:
     """A step is made wherever its gateway stands by now, and back to where it stood."""
-    patch.setattr(Rolls, "_current", lambda self, one, round_: True)
-    patch.setitem(STEPS, (Stand.RETURNING, Step.WHOLE), Stand.GRANTING)
+    patch.setattr(RollingRestarts, "_current", lambda self, one, round_: True)
+    patch.setitem(STEPS, (GatewayPhase.RETURNING, GatewayEvent.WHOLE), GatewayPhase.GRANTING)
 
 
 TABLE: dict[str, Planted] = {
