--- a/badgeryoke/cluster/connection_limits.py
+++ b/badgeryoke/cluster/connection_limits.py
@@ -87,7 +87,7 @@
     def key(self) -> str:
         return bucket(self.server)
 
-    def fault(self) -> str:
+    def validate(self) -> str:
         if not 0 < len(self.server) <= 255:
             return "server: expected 1 to 255 characters"
         if not 1 <= self.most <= MOST_LIMIT:
@@ -131,7 +131,7 @@
     def key(self) -> str:
         return self.bucket
 
-    def fault(self) -> str:
+    def validate(self) -> str:
         if not 1 <= len(self.asks) <= MOST_ASKS:
             return f"asks: expected 1 to {MOST_ASKS}, got {len(self.asks)}"
         if len({ask.server for ask in self.asks}) < len(self.asks):
@@ -156,7 +156,7 @@
     def key(self) -> str:
         return self.bucket
 
-    def fault(self) -> str:
+    def validate(self) -> str:
         if self.proof not in ("idle", "reset"):
             return f"proof: expected idle or reset, got {self.proof!r}"
         if self.proof == "reset" and (
@@ -194,7 +194,7 @@
 
     def apply(self, at_ms: float, command: Any) -> ApplyResult:
         """See badgeryoke.cluster.state_machine.part."""
-        if said := command.fault():
+        if said := command.validate():
             return ApplyResult(error=InvalidCall(command.key(), said))
         if isinstance(command, SetConnectionLimit):
             return self._limit(command)
@@ -307,7 +307,7 @@
         drift = self._timings.clock_drift
         return (self.lease_ms() + idle_ms) * (1.0 + drift) / (1.0 - drift) + CLOSING_MS
 
-    def work(self, view: LeaderView) -> list[Command]:
+    def leader_tasks(self, view: LeaderView) -> list[Command]:
         """End the leases of holders that are lost."""
         self.seen(view.now)
         ends: dict[tuple[MemberId, str], list[tuple[str, int]]] = {}
--- a/badgeryoke/cluster/key_value.py
+++ b/badgeryoke/cluster/key_value.py
@@ -24,7 +24,7 @@
     def key(self) -> str:
         return f"p:{self.name}"
 
-    def fault(self) -> str:
+    def validate(self) -> str:
         if not 0 < len(self.name) <= MOST_NAME:
             return f"name: expected 1 to {MOST_NAME} characters"
         return f"value: {MOST_VALUE} characters at the most" if len(self.value) > MOST_VALUE else ""
@@ -67,11 +67,11 @@
         self._held += more
         return ApplyResult(before)
 
-    def look(self, command: ReadValue) -> ApplyResult:
+    def query(self, command: ReadValue) -> ApplyResult:
         """Read one."""
         return ApplyResult(self._kept.get(command.name))
 
-    def work(self, view: LeaderView) -> list[Command]:
+    def leader_tasks(self, view: LeaderView) -> list[Command]:
         """Nothing is left to do for a promise."""
         return []
 
--- a/badgeryoke/cluster/node.py
+++ b/badgeryoke/cluster/node.py
@@ -404,7 +404,7 @@
         answer: Callable[[float, ApplyResult | ClusterError], list[Effect]],
     ) -> list[Effect]:
         """Make a call: it is answered once, within `call_ms`."""
-        problem = command.fault()
+        problem = command.validate()
         if problem:
             return answer(now, InvalidCall(command.id, problem))
         if self.founding.record is None:
@@ -517,7 +517,7 @@
         token = self._token()
 
         def looked(at: float, result: Any) -> list[Effect]:
-            return answer(at, self.states[group].look(command) if result is None else result)
+            return answer(at, self.states[group].query(command) if result is None else result)
 
         self._ours[token] = looked if command.reads else answer
         if command.reads:
@@ -539,7 +539,7 @@
             _, command = decode(message.body)
         except msgspec.DecodeError as fault:
             return reply(now, InvalidCall(message.group, str(fault)))
-        problem = command.fault()
+        problem = command.validate()
         if problem:
             return reply(now, InvalidCall(command.id, problem))
         replica = self.replicas.get(message.group)
@@ -610,7 +610,7 @@
         """What the leader of a group has to see to."""
         effects: list[Effect] = []
         state = self.states[group]
-        commands = state.work(self._view(now, wall, replica))
+        commands = state.leader_tasks(self._view(now, wall, replica))
         if group != FLEET:
             commands += self._limits(group, state)
         for command in commands:
--- a/badgeryoke/cluster/placement/directory.py
+++ b/badgeryoke/cluster/placement/directory.py
@@ -96,7 +96,7 @@
     who: MemberId
     hall: str
 
-    def fault(self) -> str:
+    def validate(self) -> str:
         if not 1 <= len(self.name) <= LONGEST_NAME or len(self.hall) > LONGEST_NAME:
             return f"name, hall: expected up to {LONGEST_NAME} letters"
         if member_name(self.who) != self.name or not len(self.name) + 1 < len(self.who) <= 2 * LONGEST_NAME:
@@ -112,7 +112,7 @@
     new: MemberId
     most: int
 
-    def fault(self) -> str:
+    def validate(self) -> str:
         if self.lost == self.new:
             return "lost, new: expected two, or one and nothing"
         return "" if self.most >= 1 else "most: expected 1 at the least"
@@ -127,7 +127,7 @@
     number: int
     behind: tuple[MemberId, ...] = ()  # voters that have not caught up
 
-    def fault(self) -> str:
+    def validate(self) -> str:
         return "" if 1 <= len(self.voters) <= 16 and self.number >= 0 else "voters, number: out of bounds"
 
 
@@ -195,7 +195,7 @@
 
     def apply(self, at_ms: float, command: Any) -> ApplyResult:
         """Take a command in."""
-        problem = command.fault()
+        problem = command.validate()
         if problem:
             return ApplyResult(error=InvalidCall(command.id, problem))
         if isinstance(command, EnrolMember):
@@ -265,7 +265,7 @@
             del self.moves[command.group]
         return ApplyResult("noted")
 
-    def look(self, command: Any) -> ApplyResult:
+    def query(self, command: Any) -> ApplyResult:
         """For operators: groups with voters, moves, and who is enrolled."""
         return ApplyResult(
             {
@@ -409,7 +409,7 @@
     # The leader's work
     # -----------------------------------------------------------------------------------------------
 
-    def work(self, view: LeaderView) -> list[Command]:
+    def leader_tasks(self, view: LeaderView) -> list[Command]:
         """Enrol who came, give up what cannot end, then repair; even out only when nothing else is wrong."""
         if not self.groups:
             return []
--- a/badgeryoke/cluster/reservations/contract.py
+++ b/badgeryoke/cluster/reservations/contract.py
@@ -160,7 +160,7 @@
     surplus: bool = True
     rank: int = 1  # class of importance: where capacity falls short, the highest number goes first
 
-    def fault(self) -> str:
+    def validate(self) -> str:
         """The key at fault and what is wrong with it."""
         if not NAME.fullmatch(self.tenant):
             return f"tenant: expected 1 to 64 of letters, digits, '.', '_' and '-', got {self.tenant[:64]!r}"
@@ -229,7 +229,7 @@
     floor: float
     halls: dict[str, float] = msgspec.field(default_factory=dict)
 
-    def fault(self) -> str:
+    def validate(self) -> str:
         if not 0.0 <= self.units <= HIGHEST or not 0.0 <= self.floor <= HIGHEST:
             return "units: expected 0 to 1e9, and floor as well"
         if len(self.halls) > 64 or not all(0.0 <= one <= HIGHEST for one in self.halls.values()):
@@ -243,8 +243,8 @@
     contract: str
     terms: ContractTerms
 
-    def fault(self) -> str:
-        return _named(self.contract) or self.terms.fault()
+    def validate(self) -> str:
+        return _named(self.contract) or self.terms.validate()
 
 
 class ChangeContract(Command, frozen=True, kw_only=True, tag="Change"):
@@ -254,10 +254,10 @@
     terms: ContractTerms
     holds_from_ms: float
 
-    def fault(self) -> str:
+    def validate(self) -> str:
         if not 0.0 < self.holds_from_ms < math.inf:
             return "holds_from_ms: expected a moment, Unix ms"
-        return _named(self.contract) or self.terms.fault()
+        return _named(self.contract) or self.terms.validate()
 
 
 class CancelContract(Command, frozen=True, kw_only=True, tag="CancelContract"):
@@ -273,7 +273,7 @@
     contract: str
     version: int
 
-    def fault(self) -> str:
+    def validate(self) -> str:
         return _counted("version", self.version)
 
 
@@ -289,7 +289,7 @@
     units: float
     since_ms: float
 
-    def fault(self) -> str:
+    def validate(self) -> str:
         if not 0 < len(self.by) <= 200 or not 0 < len(self.cause) <= 40:
             return "by: expected a name, and a cause"
         return (
@@ -318,7 +318,7 @@
 
     have: int = -1
 
-    def fault(self) -> str:
+    def validate(self) -> str:
         return _counted("have", self.have + 1)
 
 
@@ -343,7 +343,7 @@
     times: tuple[Span, ...]
     holds_from_ms: float
 
-    def fault(self) -> str:
+    def validate(self) -> str:
         good = 1 <= self.version < MOST_NUMBER and 0.0 < self.rate <= HIGHEST and 0.0 <= self.burst <= HIGHEST
         return "" if good and len(self.times) <= MOST_SPANS else "version: out of bounds"
 
@@ -367,7 +367,7 @@
     process: str = ""  # of the holder; and the order of its calls: one that comes behind a later one is stale
     order: int = 0
 
-    def fault(self) -> str:
+    def validate(self) -> str:
         figures = (self.keep, self.wish, self.room, self.hold, self.need, self.least)
         if not all(0.0 <= one <= HIGHEST for one in figures):
             return "keep: expected 0 to 1e9, and the other figures as well"
@@ -391,7 +391,7 @@
     by: str
     slices: tuple[tuple[int, float, float], ...]
 
-    def fault(self) -> str:
+    def validate(self) -> str:
         good = all(
             0 <= at <= 1e12 and 0.0 <= asked <= HIGHEST and 0.0 <= drawn <= HIGHEST
             for at, asked, drawn in self.slices
@@ -411,7 +411,7 @@
     holder: MemberId
     number: int
 
-    def fault(self) -> str:
+    def validate(self) -> str:
         return _counted("number", self.number)
 
 
@@ -565,7 +565,7 @@
 
     def apply(self, at_ms: float, command: Any) -> ApplyResult:
         """See badgeryoke.cluster.state_machine.part."""
-        if said := command.fault():
+        if said := command.validate():
             return ApplyResult(error=InvalidCall(getattr(command, "contract", "") or "capacity", said))
         for one in self.held.values():
             self._move(at_ms, one)
@@ -593,7 +593,7 @@
             self._check(at_ms)
         return result
 
-    def look(self, command: Any) -> ApplyResult:
+    def query(self, command: Any) -> ApplyResult:
         """See badgeryoke.cluster.state_machine.part."""
         if isinstance(command, PollContracts):
             return ApplyResult(
@@ -857,7 +857,7 @@
         for name in settled[: max(len(settled) - MOST_SETTLED, 0)]:
             del self.held[name]
 
-    def work(self, view: LeaderView) -> list[Command]:
+    def leader_tasks(self, view: LeaderView) -> list[Command]:
         """Let the tenants' groups know of versions, time go on, and the capacity be what this gateway
         knows."""
         made: list[Command] = []
@@ -1124,7 +1124,7 @@
 
     def apply(self, at_ms: float, command: Any) -> ApplyResult:
         """See badgeryoke.cluster.state_machine.part."""
-        if said := command.fault():
+        if said := command.validate():
             return ApplyResult(error=InvalidCall(command.contract, said))
         if isinstance(command, OpenContract):
             return self._open(at_ms, command)
@@ -1268,7 +1268,7 @@
         on = any(begin <= at < end for begin, end in coming.times)
         return at, min(coming.rate / found.rate, 1.0) if on else 0.0
 
-    def work(self, view: LeaderView) -> list[Command]:
+    def leader_tasks(self, view: LeaderView) -> list[Command]:
         """End what is over by this machine's clock; say which versions hold."""
         self.seen(view.now)
         made: list[Command] = [
--- a/badgeryoke/cluster/rolling_restart/restart.py
+++ b/badgeryoke/cluster/rolling_restart/restart.py
@@ -170,7 +170,7 @@
     have: float  # units a second that what stays carries; below 0: not known
     need: float
 
-    def fault(self) -> tuple[Rule, str] | None:
+    def validate(self) -> tuple[Rule, str] | None:
         """The first condition that does not hold."""
         if self.missing:
             return Rule.COPIES_WHOLE, f"copies not whole: {self.missing} missing"
@@ -208,7 +208,7 @@
     warm_ms: float = 3000.0
     hall_may_go: bool = False  # the only gateway of a hall may be drained
 
-    def fault(self) -> str:
+    def validate(self) -> str:
         if not self.roll:
             return "roll: expected a name"
         if self.act not in ("restart", "hold"):
@@ -280,7 +280,7 @@
     what: str
     process: str
 
-    def fault(self) -> str:
+    def validate(self) -> str:
         if self.what not in REPORTS:
             return f"what: expected one of {', '.join(REPORTS)}"
         return _texts(process=self.process) or ("" if self.process else "process: expected a name")
@@ -371,7 +371,7 @@
 
     def apply(self, at_ms: float, command: Any) -> ApplyResult:
         """See badgeryoke.cluster.state_machine.part."""
-        if said := command.fault():
+        if said := command.validate():
             return ApplyResult(error=InvalidCall("roll", said))
         if isinstance(command, ReadDesiredState):
             return ApplyResult(self.where(command.gateway))
@@ -396,7 +396,7 @@
             return self._report(at_ms, roll, command)
         return ApplyResult(error=InvalidCall("roll", f"unknown command {command.command_name()}"))
 
-    def look(self, command: ReadDesiredState | ReadRollingRestarts) -> ApplyResult:
+    def query(self, command: ReadDesiredState | ReadRollingRestarts) -> ApplyResult:
         """Read where one gateway stands, or every roll."""
         return ApplyResult(
             self.told() if isinstance(command, ReadRollingRestarts) else self.where(command.gateway)
@@ -482,7 +482,7 @@
 
     def _allowed(self, roll: RollingRestart, facts: ClusterConditions | None) -> str:
         """Why gateways may not go; a leader that proposes it all the same has broken a rule."""
-        found = facts.fault() if facts is not None else (Rule.WAVE_KEEPS_ROOM, "no facts")
+        found = facts.validate() if facts is not None else (Rule.WAVE_KEEPS_ROOM, "no facts")
         if found is None:
             return ""
         self._rules.check(found[0], False, lambda: f"{roll.name}: {found[1]}")
@@ -630,7 +630,7 @@
             missing, spare, short, have, view.load.get("demand", 0.0) + view.load.get("promised", 0.0)
         )
 
-    def work(self, view: LeaderView) -> list[Command]:
+    def leader_tasks(self, view: LeaderView) -> list[Command]:
         """The next steps whose conditions hold; or why there is none."""
         roll = self.active
         if roll is None:
@@ -756,7 +756,7 @@
             if step is E.ROOMY and view.wall - one.since < GRANT_MS + roll.reading_ms():
                 continue  # the others are growing
             facts = self.count(view, roll, (), "" if step is E.ROOMY else name)
-            if (found := facts.fault()) is None:
+            if (found := facts.validate()) is None:
                 return "", [self._stepped(roll, name, step, facts)]
             said = said or found[1]
         if said or roll.under_way():
@@ -774,7 +774,7 @@
             if name not in alive:
                 said = said or f"{name} is dead while waiting"
                 continue
-            found = self.count(view, roll, [*wave, name]).fault()
+            found = self.count(view, roll, [*wave, name]).validate()
             if found is None:
                 wave.append(name)
             else:
--- a/badgeryoke/cluster/state_machine/machine.py
+++ b/badgeryoke/cluster/state_machine/machine.py
@@ -98,7 +98,7 @@
         made = msgspec.convert(fields, kind)
     except msgspec.ValidationError as fault:
         return InvalidCall(name, str(fault).replace("`", ""))
-    problem = made.fault()
+    problem = made.validate()
     return InvalidCall(name, problem) if problem else made
 
 
@@ -152,19 +152,19 @@
         while len(self._ids) > MOST_IDS or self._answers > MOST_ANSWERS:
             self._answers -= len(self._ids.pop(next(iter(self._ids)))[1])
 
-    def look(self, command: Command) -> ApplyResult:
+    def query(self, command: Command) -> ApplyResult:
         """Answer a command that only reads."""
         part = self.parts.get(REGISTRY.part_of[type(command)])
         if part is None or not command.reads:
             return ApplyResult(
                 error=InvalidCall(command.id, f"{command.command_name()} is not for group {self.group}")
             )
-        found: ApplyResult = part.look(command)
+        found: ApplyResult = part.query(command)
         return found
 
-    def work(self, view: LeaderView) -> list[Command]:
+    def leader_tasks(self, view: LeaderView) -> list[Command]:
         """What the leader has to propose now."""
-        return [command for part in self.parts.values() for command in part.work(view)]
+        return [command for part in self.parts.values() for command in part.leader_tasks(view)]
 
     def dump(self) -> bytes:
         """A snapshot."""
--- a/badgeryoke/cluster/state_machine/part.py
+++ b/badgeryoke/cluster/state_machine/part.py
@@ -38,7 +38,7 @@
         """What decides the group: "" for the fleet's own, else "t:TENANT", "s:SERVER" or "p:PROMISE"."""
         return ""
 
-    def fault(self) -> str:
+    def validate(self) -> str:
         """The key at fault and what is wrong with it; empty where all is within bounds."""
         return ""
 
@@ -74,7 +74,7 @@
     def apply(self, at_ms: float, command: Any) -> ApplyResult:
         """Take a command in.  Never raises; a faulty one comes back as an error and changes nothing."""
 
-    def work(self, view: LeaderView) -> list[Command]:
+    def leader_tasks(self, view: LeaderView) -> list[Command]:
         """Commands that the leader proposes now (for this group or, by their key, another); asked for every
         heartbeat, so each has an id that makes a repeat harmless."""
 
--- a/badgeryoke/cluster/unreported_usage.py
+++ b/badgeryoke/cluster/unreported_usage.py
@@ -48,7 +48,7 @@
     def key(self) -> str:
         return f"t:{self.tenant}"
 
-    def fault(self) -> str:
+    def validate(self) -> str:
         if not 0 < len(self.lines) <= MOST_LINES:
             return f"lines: expected 1 to {MOST_LINES}"
         return next(
@@ -153,13 +153,13 @@
         if not known:
             self.unknown += sum(line.units for line in batch[3])
 
-    def look(self, command: ReadUnreportedUsage) -> ApplyResult:
+    def query(self, command: ReadUnreportedUsage) -> ApplyResult:
         """Read what waits."""
         return ApplyResult(
             [name for name, batch in self._batches.items() if not batch[4] and batch[1] == command.tenant]
         )
 
-    def work(self, view: LeaderView) -> list[Command]:
+    def leader_tasks(self, view: LeaderView) -> list[Command]:
         """A claimer that is dead for good: its batch is closed as unknown."""
         return [
             ConfirmUsageReported(
--- a/badgeryoke/gateway/cluster/admin_calls.py
+++ b/badgeryoke/gateway/cluster/admin_calls.py
@@ -97,7 +97,7 @@
         return InvalidCall(at.lstrip(".") or "call", problem)
     if not 0 < len(made.id) <= MOST_ID:
         return InvalidCall("id", f"expected 1 to {MOST_ID} characters")
-    if problem := made.fault():
+    if problem := made.validate():
         key, colon, what = problem.partition(": ")
         return InvalidCall(key if colon else "call", what if colon else problem)
     return made
--- a/tests/cluster/reservations/test_contracts.py
+++ b/tests/cluster/reservations/test_contracts.py
@@ -139,7 +139,7 @@
     )
     seen: list[str] = []
     for at in range(0, 130_000, 500):
-        for command in part.work(look(at)) + groups.work(look(at)):
+        for command in part.leader_tasks(look(at)) + groups.leader_tasks(look(at)):
             (part if command.key() == "" else groups).apply(at, command)
         if at == 22_000:
             for units in (3.0, 3.0, 5.0):
@@ -165,15 +165,15 @@
         "closing",
         "settled",
     ]
-    facts = part.look(ReadContracts(id="r")).value["contracts"]["a"]
+    facts = part.query(ReadContracts(id="r")).value["contracts"]["a"]
     assert facts["short"] == {"load": 5.0} and facts["since_ms"] == 21_000.0  # totals: a repeat adds nothing
-    assert again(part).look(ReadContracts(id="r")).value["contracts"]["a"] == facts
+    assert again(part).query(ReadContracts(id="r")).value["contracts"]["a"] == facts
 
 
 def test_a_cancelled_one_frees_its_room_when_the_tenants_group_has_told() -> None:
     part = made()
     propose(part, 0.0, "a", terms(100.0, 1_000.0, 90_000.0))
-    (opened,) = [one for one in part.work(look(0.0)) if isinstance(one, OpenContract)]
+    (opened,) = [one for one in part.leader_tasks(look(0.0)) if isinstance(one, OpenContract)]
     part.apply(10.0, VersionDrained(id="t", contract="a", version=opened.version))
     assert part.apply(20_000.0, CancelContract(id="x", contract="a")).error is None
     assert isinstance(part.apply(20_000.0, CancelContract(id="y", contract="a")).error, WrongState)
@@ -432,7 +432,7 @@
 
     def apply(self, command: Command) -> ApplyResult:
         if command.key() == "":
-            return self.part.look(command) if command.reads else self.part.apply(self.t, command)
+            return self.part.query(command) if command.reads else self.part.apply(self.t, command)
         results = [copy.apply(self.t, command) for copy in self.copies]
         assert results[0] == results[1]
         self.copies[self.lead].seen(self.t * self.fast)
@@ -442,7 +442,7 @@
 
     def work(self) -> None:
         view = replace(look(self.t), now=self.t * self.fast)
-        for command in self.part.work(view) + self.copies[self.lead].work(view):
+        for command in self.part.leader_tasks(view) + self.copies[self.lead].leader_tasks(view):
             self.apply(command)
 
     def disturb(self) -> None:
@@ -605,7 +605,8 @@
             elif act < 0.1 and name in part.held:
                 part.apply(at, CancelContract(id=f"x{at}", contract=name))
             post += [
-                (at + draw.choice([0, 100, 1000]), one) for one in part.work(look(at)) + groups.work(look(at))
+                (at + draw.choice([0, 100, 1000]), one)
+                for one in part.leader_tasks(look(at)) + groups.leader_tasks(look(at))
             ]
             for command in [sent for when, sent in post if when <= at]:
                 (part if command.key() == "" else groups).apply(at, command)
--- a/tests/cluster/test_behaviour_digests.py
+++ b/tests/cluster/test_behaviour_digests.py
@@ -906,13 +906,13 @@
         self.index += 1
         result = self.state.apply(self.now, self.index, encode(at_ms, command))
         self.digest.add(
-            (at_ms, command_values(command), command.key(), command.fault(), applied_values(result))
+            (at_ms, command_values(command), command.key(), command.validate(), applied_values(result))
         )
         return result
 
     def look(self) -> None:
         for command in reads(self.group):
-            self.digest.add(applied_values(self.state.look(command)))
+            self.digest.add(applied_values(self.state.query(command)))
         add_state(self.digest, self.state)
         self.digest.add((self.rules.count, broken_values(self.rules)))
 
@@ -945,7 +945,9 @@
         elif isinstance(value, list) and value and isinstance(value[0], int):
             calls.numbers.append(value[0])
         if step % 4 == 0:
-            for command in applier.state.work(view_of(draw, applier.now, calls.at, applier.now - 9000.0)):
+            for command in applier.state.leader_tasks(
+                view_of(draw, applier.now, calls.at, applier.now - 9000.0)
+            ):
                 digest.add(command_values(command))
                 if draw.random() < 0.7:
                     applier.apply(calls.at, command)
@@ -1079,7 +1081,7 @@
         applier = self.states[FLEET if not command.key() else "g0"]
         applier.now = self.now
         if command.reads:
-            result = applier.state.look(command)
+            result = applier.state.query(command)
             self.digest.add((command_values(command), applied_values(result)))
             return result
         return applier.apply(self.wall, command)
@@ -1099,7 +1101,7 @@
         view = view_of(self.draw, self.now, self.wall, 0.0)
         for applier in self.states.values():
             applier.now = self.now
-            for command in applier.state.work(view):
+            for command in applier.state.leader_tasks(view):
                 self.apply(command)
 
     def go(self, ms: float) -> None:
--- a/tests/cluster/test_golden_cluster.py
+++ b/tests/cluster/test_golden_cluster.py
@@ -237,7 +237,7 @@
         "early": early.hex(),
         "late": late.hex(),
         "values": values,
-        "work": [encode(START_MS, command).hex() for command in state.work(leaders_view())],
+        "work": [encode(START_MS, command).hex() for command in state.leader_tasks(leaders_view())],
     }
 
 
@@ -389,7 +389,7 @@
         command = event.command
         group = group_of(command.key(), FOUNDING.groups)
         if command.reads:
-            return [OperationCompleted(event.token, self.states[group].look(command))]
+            return [OperationCompleted(event.token, self.states[group].query(command))]
         return [OperationCompleted(event.token, self.apply(group, encode(self._at_ms, command)))]
 
     def apply(self, group: str, body: bytes) -> ApplyResult:
--- a/tests/cluster/test_membership.py
+++ b/tests/cluster/test_membership.py
@@ -498,7 +498,7 @@
     def step(self) -> None:
         """A tenth of a second."""
         self.now += 100.0
-        for command in self.placing.work(self.view()):
+        for command in self.placing.leader_tasks(self.view()):
             assert self.placing.apply(1e12 + self.now, command).error is None
         self.placing.seen(self.now)
         self.most = max(self.most, len(self.placing.moves))
--- a/tests/cluster/test_regressions.py
+++ b/tests/cluster/test_regressions.py
@@ -583,7 +583,7 @@
     for one in (made, other):
         assert put(one, 9, "o3", "n", "v3").value == "v2"  # as the first time
         assert isinstance(put(one, 10, "o3", "n", "other").error, DuplicateId)
-        assert one.look(key_value.ReadValue(id="r", name="n")).value == "v3"
+        assert one.query(key_value.ReadValue(id="r", name="n")).value == "v3"
 
 
 def test_a_lease_is_timed_from_where_its_entry_was_seen() -> None:
@@ -639,14 +639,14 @@
     again.load(msgspec.msgpack.decode(msgspec.msgpack.encode(made.dump())))
     made = again
     # what is being told is not offered
-    assert made.look(unreported_usage.ReadUnreportedUsage(id="r", tenant="t")).value == ["2"]
+    assert made.query(unreported_usage.ReadUnreportedUsage(id="r", tenant="t")).value == ["2"]
     assert isinstance(claim("1", "c/1").error, WrongState) and isinstance(
         told("1", "c/1", True).error, NotFound
     )
     assert told("1", "b/1", True).value and made.unknown == 0.0
     assert claim("2", "b/1").value and told("2", "b/1", False).value and made.unknown == 3.0
     assert owe("4").error is None and owe("5", unreported_usage.LATE_MS + 1.0).error is None
-    assert made.unknown == 6.0 and made.look(
+    assert made.unknown == 6.0 and made.query(
         unreported_usage.ReadUnreportedUsage(id="r", tenant="t")
     ).value == ["5"]
 
@@ -1106,7 +1106,7 @@
         "dead_for": {},
         **more,
     }
-    return made.work(
+    return made.leader_tasks(
         LeaderView(now=wall, wall=wall, me="d/1", lead_since=0.0, timings=Timings(), load={}, **given)
     )
 
@@ -1397,7 +1397,7 @@
 
 def words(made: GuaranteedRates, now: float, wall: float) -> list[str]:
     view = LeaderView(now, wall, "a/1", 0.0, Timings(), frozenset(), {}, {}, {}, {}, {})
-    return [one.command_name() for one in made.work(view)]
+    return [one.command_name() for one in made.leader_tasks(view)]
 
 
 def test_an_older_version_that_comes_late_changes_nothing_and_none_is_forgotten_before_its_window() -> None:
@@ -1523,7 +1523,7 @@
                 self.floor.answered(now, one, self.floors.apply(now, one))
             else:
                 self.floor.answered(
-                    now, one, self.contracts.look(one) if one.reads else self.contracts.apply(now, one)
+                    now, one, self.contracts.query(one) if one.reads else self.contracts.apply(now, one)
                 )
         return asked
 
@@ -1882,7 +1882,7 @@
     """Otherwise no newcomer can ever take it in, and a lost copy stays lost.  Put back from a snapshot it
     is as full; what is there may become shorter."""
     made, number = part(), 0
-    assert make(0).fault() == ""
+    assert make(0).validate() == ""
     while made.apply(0.0, make(number)).error is None:
         number += 1
     other = part()
--- a/tests/cluster/test_rolling_restart.py
+++ b/tests/cluster/test_rolling_restart.py
@@ -147,7 +147,7 @@
     def tick(self) -> None:
         self.true += STEP
         if self.draw.random() < 0.7:
-            for made in self.state.work(view(self.true * self.rate, self.since)):
+            for made in self.state.leader_tasks(view(self.true * self.rate, self.since)):
                 self.calls.append((self.true + self.draw.choice((0, 300)), None, made))
         for gate in self.gates:
             if not gate.frozen:
@@ -569,7 +569,7 @@
         self.now += STEP
         self.hook()
         if self.now >= self.leaderless:
-            for command in self.state.work(self.view()):
+            for command in self.state.leader_tasks(self.view()):
                 what = self.draw.random()
                 if what >= self.loss:
                     self.take(command)
@@ -739,7 +739,9 @@
 
 
 def without_majority(patch: pytest.MonkeyPatch) -> None:
-    patch.setattr(ClusterConditions, "fault", lambda self: (Rule.COPIES_WHOLE, "x") if self.missing else None)
+    patch.setattr(
+        ClusterConditions, "validate", lambda self: (Rule.COPIES_WHOLE, "x") if self.missing else None
+    )
     patch.setattr(
         RollingRestarts,
         "_allowed",
@@ -754,10 +756,10 @@
 
 
 def without_room(patch: pytest.MonkeyPatch) -> None:
-    fault = ClusterConditions.fault
+    fault = ClusterConditions.validate
     patch.setattr(
         ClusterConditions,
-        "fault",
+        "validate",
         lambda self: fault(ClusterConditions(self.missing, self.spare, self.halls, -1.0, 0.0)),
     )
 
@@ -881,7 +883,7 @@
         seen = view(
             0.0, 0.0, alive=frozenset(here), halls=dict.fromkeys(("g0", "g1", "g2"), "h"), groups=groups
         )
-        found = RollingRestarts(Invariants()).count(seen, roll, ["g0"]).fault()
+        found = RollingRestarts(Invariants()).count(seen, roll, ["g0"]).validate()
         assert (found and found[1]) == fault
     # One that loses its disk while it is turning clients away has no copies to leave behind; one that has
     # left has.
@@ -911,14 +913,16 @@
         halls=dict.fromkeys(("g0", "g1", "g2"), "h"),
         groups={"G": ("g0/1", "g1/1", "g2/1")},
     )
-    stale = msgspec.structs.replace(rolls.work(seen)[0], gateway="g1")
-    (step,) = rolls.work(seen)
+    stale = msgspec.structs.replace(rolls.leader_tasks(seen)[0], gateway="g1")
+    (step,) = rolls.leader_tasks(seen)
     assert rolls.apply(0.0, step).error is None and roll.gateways["g0"].stand is GatewayPhase.ACTING
     assert isinstance(rolls.apply(0.0, stale).error, WrongState)  # counted before the other left
-    assert not [one for one in rolls.work(seen) if isinstance(one, RecordGatewayEvent)]
+    assert not [one for one in rolls.leader_tasks(seen) if isinstance(one, RecordGatewayEvent)]
     roll.gateways["g0"].stand = GatewayPhase.WARMING
     assert [
-        one.gateway for one in rolls.work(seen) if isinstance(one, RecordGatewayEvent) and one.step == "ACT"
+        one.gateway
+        for one in rolls.leader_tasks(seen)
+        if isinstance(one, RecordGatewayEvent) and one.step == "ACT"
     ] == ["g1"]
 
 
--- a/tests/gateway/cluster/test_connection_leases.py
+++ b/tests/gateway/cluster/test_connection_leases.py
@@ -166,7 +166,7 @@
                             if gate.name in self.cut
                             else self.part.apply(now, command),
                         )
-            for command in self.part.work(
+            for command in self.part.leader_tasks(
                 LeaderView(now, now, "g", 0.0, TIMINGS, frozenset(), {}, {}, {}, {}, {})
             ):
                 self.part.apply(now, command)
