--- a/badgeryoke/cluster/connection_limits.py
+++ b/badgeryoke/cluster/connection_limits.py
@@ -40,36 +40,40 @@
 from badgeryoke.cluster.timings import Timings
 
 BUCKETS = 16
-LEASES = 5.0  # lives of a lease on a rate
-RENEWALS = 3.0  # in the life of a lease
-CLOSING_MS = 300.0  # before a lease's end nothing is opened and all is being closed
-SHORT_MS = 200.0  # between two askings for more; doubled while nothing comes, up to a renewal's time
+LEASE_MULTIPLE = 5.0  # lives of a lease on a rate
+RENEWALS_PER_LEASE = 3.0  # in the life of a lease
+CLOSE_BEFORE_EXPIRY_MS = 300.0  # before a lease's end nothing is opened and all is being closed
+MIN_REQUEST_INTERVAL_MS = (
+    200.0  # between two askings for more; doubled while nothing comes, up to a renewal's time
+)
 # pause between two askings from which on a server's limit counts as forgotten, not as to come
-UNKNOWN_MS = 1000.0
-RESET_MS = 1000.0  # after a start, until what a process before it had open counts as closed by the kernel
-MOST_SERVERS = 4096  # of one group; more limits are refused
-MOST_ASKS = 256  # servers in one call; the rest goes with the next
-MOST_LIMIT = 1_000_000
-MOST_IDLE_MS = 3_600_000.0
-MOST_ENDS = 64  # calls that one heartbeat's work makes; the rest waits for the next
-OVER, UNKNOWN = (
+UNKNOWN_LIMIT_AFTER_MS = 1000.0
+KERNEL_RESET_MS = (
+    1000.0  # after a start, until what a process before it had open counts as closed by the kernel
+)
+MAX_SERVERS = 4096  # of one group; more limits are refused
+MAX_REQUESTS_PER_CALL = 256  # servers in one call; the rest goes with the next
+MAX_LIMIT = 1_000_000
+MAX_IDLE_TIMEOUT_MS = 3_600_000.0
+MAX_RELEASES_PER_HEARTBEAT = 64  # calls that one heartbeat's work makes; the rest waits for the next
+LEASE_EXPIRED, LIMIT_UNKNOWN = (
     -1,
     -2,
 )  # in place of a lease's number: the lease named is over; no limit of that server is known
 
 
-def bucket(server: str) -> str:
+def server_bucket(server: str) -> str:
     """The key under which a server's leases lie."""
     return f"s:{crc32(server.encode()) % BUCKETS:x}"
 
 
-def process(who: MemberId, boot: str, begun: str) -> MemberId:
+def holder_id(who: MemberId, boot: str, begun: str) -> MemberId:
     """A holder: one process of a member.  `boot`: of its machine (kernel's boot id), empty where it is not
     known."""
     return f"{who}#{boot}.{begun}"
 
 
-def machine(holder: MemberId) -> tuple[str, str] | None:
+def machine_of(holder: MemberId) -> tuple[str, str] | None:
     """The member's name and its machine's boot, which two processes must share for one to vouch for the
     other's end."""
     boot = holder.partition("#")[2].partition(".")[0]
@@ -81,19 +85,21 @@
     connection's last use the server has closed it for sure, the longest request included."""
 
     server: str
-    most: int
-    idle_ms: float
+    max_connections: int = msgspec.field(name="most")
+    idle_timeout_ms: float = msgspec.field(name="idle_ms")
 
     def key(self) -> str:
-        return bucket(self.server)
+        return server_bucket(self.server)
 
     def validate(self) -> str:
         if not 0 < len(self.server) <= 255:
             return "server: expected 1 to 255 characters"
-        if not 1 <= self.most <= MOST_LIMIT:
-            return f"most: expected 1 to {MOST_LIMIT}, got {self.most}"
-        if not 0.0 < self.idle_ms <= MOST_IDLE_MS:
-            return f"idle_ms: expected above 0 and at most {MOST_IDLE_MS:g}, got {self.idle_ms!r}"
+        if not 1 <= self.max_connections <= MAX_LIMIT:
+            return f"most: expected 1 to {MAX_LIMIT}, got {self.max_connections}"
+        if not 0.0 < self.idle_timeout_ms <= MAX_IDLE_TIMEOUT_MS:
+            return (
+                f"idle_ms: expected above 0 and at most {MAX_IDLE_TIMEOUT_MS:g}, got {self.idle_timeout_ms!r}"
+            )
         return ""
 
 
@@ -103,16 +109,16 @@
     server: str
 
     def key(self) -> str:
-        return bucket(self.server)
+        return server_bucket(self.server)
 
 
 class ConnectionLeaseRequest(msgspec.Struct, frozen=True, array_like=True):
     """For one server: the lease held (0: none), what is kept of it from now on, and what would be liked."""
 
     server: str
-    number: int
+    lease_number: int
     keep: int
-    wish: int
+    wanted: int
 
 
 class RequestConnectionLeases(Command, frozen=True, tag="ConnLeases"):
@@ -125,21 +131,21 @@
 
     holder: MemberId
     bucket: str
-    asks: tuple[ConnectionLeaseRequest, ...]
-    fresh: bool = False
+    requests: tuple[ConnectionLeaseRequest, ...] = msgspec.field(name="asks")
+    first_request: bool = msgspec.field(default=False, name="fresh")
 
     def key(self) -> str:
         return self.bucket
 
     def validate(self) -> str:
-        if not 1 <= len(self.asks) <= MOST_ASKS:
-            return f"asks: expected 1 to {MOST_ASKS}, got {len(self.asks)}"
-        if len({ask.server for ask in self.asks}) < len(self.asks):
+        if not 1 <= len(self.requests) <= MAX_REQUESTS_PER_CALL:
+            return f"asks: expected 1 to {MAX_REQUESTS_PER_CALL}, got {len(self.requests)}"
+        if len({ask.server for ask in self.requests}) < len(self.requests):
             return "asks: a server is named twice"
-        for ask in self.asks:
-            if bucket(ask.server) != self.bucket:
+        for ask in self.requests:
+            if server_bucket(ask.server) != self.bucket:
                 return f"asks: {ask.server} does not lie in {self.bucket}"
-            if not (ask.number >= 0 and 0 <= ask.keep <= MOST_LIMIT and 0 <= ask.wish <= MOST_LIMIT):
+            if not (ask.lease_number >= 0 and 0 <= ask.keep <= MAX_LIMIT and 0 <= ask.wanted <= MAX_LIMIT):
                 return f"asks: {ask.server}: out of bounds"
         return ""
 
@@ -149,9 +155,9 @@
 
     holder: MemberId
     bucket: str
-    ends: tuple[tuple[str, int], ...]  # server, number
+    leases: tuple[tuple[str, int], ...] = msgspec.field(name="ends")  # server, number
     proof: str
-    by: MemberId = ""
+    reported_by: MemberId = msgspec.field(default="", name="by")
 
     def key(self) -> str:
         return self.bucket
@@ -160,9 +166,11 @@
         if self.proof not in ("idle", "reset"):
             return f"proof: expected idle or reset, got {self.proof!r}"
         if self.proof == "reset" and (
-            self.by == self.holder or not machine(self.by) or machine(self.by) != machine(self.holder)
+            self.reported_by == self.holder
+            or not machine_of(self.reported_by)
+            or machine_of(self.reported_by) != machine_of(self.holder)
         ):
-            return f"by: {self.by!r} cannot vouch for the end of {self.holder!r}"
+            return f"by: {self.reported_by!r} cannot vouch for the end of {self.holder!r}"
         return ""
 
 
@@ -175,13 +183,13 @@
 
 
 @dataclass(slots=True)
-class _Server:
+class ServerLimit:
     """One server's limit; `parts.aim` is the limit, `parts.whole` above it while more is held than a
     lowered one."""
 
-    idle_ms: float
-    parts: LeasePool
-    gone: bool = False
+    idle_timeout_ms: float
+    pool: LeasePool
+    removed: bool = False
 
 
 class ConnectionLimits:
@@ -189,7 +197,7 @@
 
     def __init__(self, rules: Invariants, timings: Timings) -> None:
         self._rules, self._timings = rules, timings
-        self.servers: dict[str, _Server] = {}
+        self.servers: dict[str, ServerLimit] = {}
         self._last = 0  # number of the last lease: a server that comes back does not begin at 1 again
 
     def apply(self, at_ms: float, command: Any) -> ApplyResult:
@@ -209,40 +217,42 @@
     def _limit(self, command: SetConnectionLimit) -> ApplyResult:
         found = self.servers.get(command.server)
         if found is None:
-            if len(self.servers) >= MOST_SERVERS:
+            if len(self.servers) >= MAX_SERVERS:
                 return ApplyResult(
-                    error=InvalidCall(command.server, f"{MOST_SERVERS} servers have a limit already")
+                    error=InvalidCall(command.server, f"{MAX_SERVERS} servers have a limit already")
                 )
-            found = self.servers[command.server] = _Server(command.idle_ms, LeasePool(0.0, step=1.0))
-        found.parts.resize(float(command.most), 0.0)
-        found.idle_ms, found.gone = command.idle_ms, False
-        return ApplyResult({"granted": int(found.parts.granted())})
+            found = self.servers[command.server] = ServerLimit(
+                command.idle_timeout_ms, LeasePool(0.0, step=1.0)
+            )
+        found.pool.resize(float(command.max_connections), 0.0)
+        found.idle_timeout_ms, found.removed = command.idle_timeout_ms, False
+        return ApplyResult({"granted": int(found.pool.granted())})
 
     def _unlimit(self, command: RemoveConnectionLimit) -> ApplyResult:
         found = self.servers.get(command.server)
         if found is None:
             return ApplyResult(error=NotFound(command.server, "no limit of that server is known"))
-        found.parts.resize(0.0, 0.0)
-        found.gone = True
+        found.pool.resize(0.0, 0.0)
+        found.removed = True
         self._tidy(command.server)
-        return ApplyResult({"granted": int(found.parts.granted())})
+        return ApplyResult({"granted": int(found.pool.granted())})
 
     def _tidy(self, server: str) -> None:
-        if self.servers[server].gone and not self.servers[server].parts.held:
+        if self.servers[server].removed and not self.servers[server].pool.held:
             del self.servers[server]
 
     def _leases(self, command: RequestConnectionLeases) -> ApplyResult:
-        parts = [self._ask(command.holder, ask) for ask in command.asks]
-        mine = machine(command.holder) if command.fresh else None
+        parts = [self._ask(command.holder, ask) for ask in command.requests]
+        mine = machine_of(command.holder) if command.first_request else None
         old = (
             []
             if mine is None
             else [
                 [who, server, held.number]
                 for server, one in self.servers.items()
-                if bucket(server) == command.bucket
-                for who, held in one.parts.held.items()
-                if who != command.holder and machine(who) == mine
+                if server_bucket(server) == command.bucket
+                for who, held in one.pool.held.items()
+                if who != command.holder and machine_of(who) == mine
             ]
         )
         return ApplyResult({"parts": parts, "old": old})
@@ -250,13 +260,13 @@
     def _ask(self, who: MemberId, ask: ConnectionLeaseRequest) -> list[Any]:
         found = self.servers.get(ask.server)
         if found is None:
-            return [ask.server, UNKNOWN, 0, 0, 0]
-        parts = found.parts
+            return [ask.server, LIMIT_UNKNOWN, 0, 0, 0]
+        parts = found.pool
         before, limit = parts.granted(), parts.aim
         parts.last = self._last
-        given = parts.ask(who, ask.number, ask.keep, ask.wish, 0.0, self._rules)
+        given = parts.ask(who, ask.lease_number, ask.keep, ask.wanted, 0.0, self._rules)
         if not isinstance(given, LeaseGrant):  # it names a lease that is over, or keeps more than it has
-            return [ask.server, OVER, 0, 0, 0]
+            return [ask.server, LEASE_EXPIRED, 0, 0, 0]
         held = parts.held.get(who)
         if held is None:
             self._tidy(ask.server)
@@ -268,7 +278,7 @@
         first = any(
             one.part + EDGE < min(one.wish, even) for other, one in parts.held.items() if other != who
         )
-        aim = min(even if first else math.ceil(given.fair - EDGE), ask.wish)
+        aim = min(even if first else math.ceil(given.fair - EDGE), ask.wanted)
         granted = parts.granted()
         if held.part < aim and limit - granted >= 1.0 - EDGE:
             parts.grow(who, 1.0)
@@ -290,39 +300,41 @@
 
     def _end(self, command: ReleaseConnectionLeases) -> ApplyResult:
         ended = 0
-        for server, number in command.ends:
-            if server in self.servers and self.servers[server].parts.end(command.holder, number):
+        for server, number in command.leases:
+            if server in self.servers and self.servers[server].pool.end(command.holder, number):
                 ended += 1
                 self._tidy(server)
         return ApplyResult({"ended": ended})
 
-    def lease_ms(self) -> float:
+    def lease_duration_ms(self) -> float:
         """A holder's lease by its own clock."""
-        return self._timings.lease_ms * LEASES
+        return self._timings.lease_ms * LEASE_MULTIPLE
 
-    def patience(self, idle_ms: float) -> float:
+    def expiry_after_ms(self, idle_ms: float) -> float:
         """From when a grant was seen here until its holder's connections are closed at the server,
         whatever became of the holder: the lease and then the idle time, by the slowest clock there,
         counted by the fastest here."""
         drift = self._timings.clock_drift
-        return (self.lease_ms() + idle_ms) * (1.0 + drift) / (1.0 - drift) + CLOSING_MS
+        return (self.lease_duration_ms() + idle_ms) * (1.0 + drift) / (1.0 - drift) + CLOSE_BEFORE_EXPIRY_MS
 
     def leader_tasks(self, view: LeaderView) -> list[Command]:
         """End the leases of holders that are lost."""
         self.seen(view.now)
         ends: dict[tuple[MemberId, str], list[tuple[str, int]]] = {}
         for server, one in self.servers.items():
-            for who, number in one.parts.over(view.now, self.patience(one.idle_ms), view.lead_since):
-                ends.setdefault((who, bucket(server)), []).append((server, number))
+            for who, number in one.pool.over(
+                view.now, self.expiry_after_ms(one.idle_timeout_ms), view.lead_since
+            ):
+                ends.setdefault((who, server_bucket(server)), []).append((server, number))
         made: list[Command] = []
-        for (who, where), found in list(ends.items())[:MOST_ENDS]:
+        for (who, where), found in list(ends.items())[:MAX_RELEASES_PER_HEARTBEAT]:
             mark = crc32(repr(found).encode())
             made.append(
                 ReleaseConnectionLeases(
                     id=f"conn-end/{where}/{who}/{mark:08x}",
                     holder=who,
                     bucket=where,
-                    ends=tuple(found),
+                    leases=tuple(found),
                     proof="idle",
                 )
             )
@@ -331,15 +343,15 @@
     def seen(self, now: float) -> None:
         """See badgeryoke.cluster.state_machine.part."""
         for one in self.servers.values():
-            one.parts.seen(now)
+            one.pool.seen(now)
 
-    def told(self) -> dict[str, Any]:
+    def summary(self) -> dict[str, Any]:
         """For operators: limit, what is granted, to how many."""
         return {
             server: {
-                "limit": int(one.parts.aim),
-                "granted": int(one.parts.granted()),
-                "holders": len(one.parts.held),
+                "limit": int(one.pool.aim),
+                "granted": int(one.pool.granted()),
+                "holders": len(one.pool.held),
             }
             for server, one in self.servers.items()
         }
@@ -348,44 +360,48 @@
         """See badgeryoke.cluster.state_machine.part."""
         return [
             self._last,
-            [[server, one.idle_ms, one.gone, one.parts.dump()] for server, one in self.servers.items()],
+            [
+                [server, one.idle_timeout_ms, one.removed, one.pool.dump()]
+                for server, one in self.servers.items()
+            ],
         ]
 
     def load(self, raw: Any) -> None:
         """See badgeryoke.cluster.state_machine.part."""
         self._last = raw[0]
         self.servers = {
-            server: _Server(idle_ms, LeasePool.load(parts), gone) for server, idle_ms, gone, parts in raw[1]
+            server: ServerLimit(idle_ms, LeasePool.load(parts), gone)
+            for server, idle_ms, gone, parts in raw[1]
         }
 
 
 @dataclass(slots=True)
-class _Pool:
+class ServerConnections:
     """One server's connections here."""
 
     open: int = 0  # dialled and not yet known closed
     closing: int = 0  # of those, being closed
     need: int = 0
     peak: int = 0  # of the need since the last asking but one
-    now_peak: int = 0
-    number: int = 0
-    part: int = 0
-    cap: int = 0  # so many may be open until `ends`
-    ends: float = -math.inf
-    asked: float = -math.inf  # when last
-    pause: float = SHORT_MS
+    current_peak: int = 0
+    lease_number: int = 0
+    granted: int = 0
+    max_open: int = 0  # so many may be open until `ends`
+    lease_expires_ms: float = -math.inf
+    requested_at_ms: float = -math.inf  # when last
+    backoff_ms: float = MIN_REQUEST_INTERVAL_MS
 
 
 @dataclass(slots=True)
-class _Out:
+class PendingCall:
     """A call of one bucket, until its outcome is known.  It is repeated with its id, and the lease counts
     from when it was made first."""
 
     command: Command
-    asked: float
-    again: float
-    under_way: bool = True
-    tries: int = 0
+    first_sent_ms: float
+    retry_at_ms: float
+    in_flight: bool = True
+    retries: int = 0
 
 
 @dataclass(slots=True)
@@ -394,162 +410,168 @@
     only then it vouches for the end of those before it.  `grow`: times the need, while others of a roll
     are away."""
 
-    me: MemberId  # of `process`
+    holder: MemberId  # of `process`
     timings: Timings
-    rules: Invariants
-    begun: float  # `now` at the process's start
-    alone: bool = False
-    grow: float = 1.0
-    leaving: bool = False
-    pools: dict[str, _Pool] = field(default_factory=dict)
-    _out: dict[str, _Out] = field(default_factory=dict)
+    invariants: Invariants
+    started_ms: float  # `now` at the process's start
+    only_process: bool = False
+    need_multiple: float = 1.0
+    draining: bool = False
+    servers: dict[str, ServerConnections] = field(default_factory=dict)
+    _pending: dict[str, PendingCall] = field(default_factory=dict)
     _old: dict[str, list[tuple[MemberId, str, int]]] = field(default_factory=dict)
     _asked_in: set[str] = field(default_factory=set)
-    unknown: dict[str, None] = field(
+    servers_without_limit: dict[str, None] = field(
         default_factory=dict
     )  # wished for in vain, no limit is known; the shell's
     _count: int = 0
 
-    def want(self, server: str, need: int) -> None:
+    def set_need(self, server: str, need: int) -> None:
         """So many connections would be in use now: those in use, and one for each attempt that waits."""
-        pool = self.pools.setdefault(server, _Pool())
+        pool = self.servers.setdefault(server, ServerConnections())
         pool.need = need
-        pool.now_peak = max(pool.now_peak, need)
+        pool.current_peak = max(pool.current_peak, need)
 
-    def held(self, now: float, server: str) -> bool:
+    def lease_valid(self, now: float, server: str) -> bool:
         """Whether the lease is in force; asked before each use of a connection, or a frozen process would
         write on."""
-        pool = self.pools.get(server)
-        return pool is not None and now < pool.ends
+        pool = self.servers.get(server)
+        return pool is not None and now < pool.lease_expires_ms
 
     def may_open(self, now: float, server: str) -> bool:
         """Whether one more connection may be dialled."""
-        pool = self.pools.get(server)
-        return pool is not None and pool.open < self._cap(now, pool)
+        pool = self.servers.get(server)
+        return pool is not None and pool.open < self._max_open(now, pool)
 
     def opened(self, now: float, server: str) -> None:
         """One is being dialled: it counts from before its first packet."""
-        pool = self.pools.setdefault(server, _Pool())
+        pool = self.servers.setdefault(server, ServerConnections())
         pool.open += 1
-        self.rules.check(
+        self.invariants.check(
             Rule.OPEN_UNDER_LEASE,
-            pool.open <= self._cap(now, pool),
-            lambda: f"{server}: {pool.open} open, {self._cap(now, pool)} leased at {now:g}",
+            pool.open <= self._max_open(now, pool),
+            lambda: f"{server}: {pool.open} open, {self._max_open(now, pool)} leased at {now:g}",
         )
 
     def closing(self, server: str) -> None:
         """One is being closed."""
-        self.pools[server].closing += 1
+        self.servers[server].closing += 1
 
     def closed(self, server: str, begun: bool = False) -> None:
         """The server has let go of one; `begun`: after `closing`."""
-        pool = self.pools[server]
+        pool = self.servers[server]
         pool.open = max(pool.open - 1, 0)
         pool.closing = max(min(pool.closing - begun, pool.open), 0)
 
-    def must_close(self, now: float) -> list[tuple[str, int]]:
+    def excess(self, now: float) -> list[tuple[str, int]]:
         """How many have to go at which servers, beside those that are going: a lease has shrunk, or nears
         its end. Which go first is the shell's."""
         return [
             (server, over)
-            for server, pool in self.pools.items()
-            if (over := pool.open - pool.closing - self._cap(now, pool)) > 0
+            for server, pool in self.servers.items()
+            if (over := pool.open - pool.closing - self._max_open(now, pool)) > 0
         ]
 
-    def _cap(self, now: float, pool: _Pool) -> int:
-        if now >= pool.ends - CLOSING_MS:
+    def _max_open(self, now: float, pool: ServerConnections) -> int:
+        if now >= pool.lease_expires_ms - CLOSE_BEFORE_EXPIRY_MS:
             return 0
-        return min(pool.cap, pool.need) if self.leaving else pool.cap
+        return min(pool.max_open, pool.need) if self.draining else pool.max_open
 
     @property
     def empty(self) -> bool:
         """Nothing is open and nothing is held."""
-        return not any(pool.open or pool.number for pool in self.pools.values())
+        return not any(pool.open or pool.lease_number for pool in self.servers.values())
 
-    def _wish(self, pool: _Pool) -> int:
-        if self.leaving:
+    def _wish(self, pool: ServerConnections) -> int:
+        if self.draining:
             return pool.need
-        need = max(pool.need, pool.peak, pool.now_peak)
+        need = max(pool.need, pool.peak, pool.current_peak)
         return (
-            min(math.ceil(need * self.grow - EDGE) + 1, MOST_LIMIT) if need else 0
+            min(math.ceil(need * self.need_multiple - EDGE) + 1, MAX_LIMIT) if need else 0
         )  # one more: it is dialled sooner
 
-    def _due(self, now: float, pool: _Pool, wish: int) -> bool:
+    def _due(self, now: float, pool: ServerConnections, wish: int) -> bool:
         """Whether something has to be asked for."""
-        if not pool.number:
-            return wish > 0 and now - pool.asked >= pool.pause
-        if now - pool.asked >= self.timings.lease_ms * LEASES / RENEWALS:
+        if not pool.lease_number:
+            return wish > 0 and now - pool.requested_at_ms >= pool.backoff_ms
+        if now - pool.requested_at_ms >= self.timings.lease_ms * LEASE_MULTIPLE / RENEWALS_PER_LEASE:
             return True
-        if wish > pool.part and now - pool.asked >= pool.pause:
+        if wish > pool.granted and now - pool.requested_at_ms >= pool.backoff_ms:
             return True
         if (
-            self.leaving and not wish and not pool.open
+            self.draining and not wish and not pool.open
         ):  # it may hold a lease on nothing: nobody is to wait for that
-            return now - pool.asked >= SHORT_MS / 2
+            return now - pool.requested_at_ms >= MIN_REQUEST_INTERVAL_MS / 2
         # Shrunk and closed down to it, or leaving: given back soon.
-        return pool.open <= self._cap(now, pool) < pool.part and now - pool.asked >= SHORT_MS / 2
+        return (
+            pool.open <= self._max_open(now, pool) < pool.granted
+            and now - pool.requested_at_ms >= MIN_REQUEST_INTERVAL_MS / 2
+        )
 
     def poll(self, now: float, wall: float) -> list[Command]:
         """See fleet.node.Holder."""
         made: list[Command] = []
         buckets: dict[str, list[str]] = {}
-        for server in self.pools:
-            buckets.setdefault(bucket(server), []).append(server)
+        for server in self.servers:
+            buckets.setdefault(server_bucket(server), []).append(server)
         for where, servers in buckets.items():
-            out = self._out.get(where)
+            out = self._pending.get(where)
             if out is not None:
-                if not out.under_way and now >= out.again:
-                    out.under_way = True
+                if not out.in_flight and now >= out.retry_at_ms:
+                    out.in_flight = True
                     made.append(out.command)
                 continue
             if (command := self._make(now, where, servers)) is not None:
-                self._out[where] = _Out(command, now, now)
+                self._pending[where] = PendingCall(command, now, now)
                 made.append(command)
         return made
 
     def _make(self, now: float, where: str, servers: list[str]) -> Command | None:
-        if self.alone and where in self._old and now >= self.begun + RESET_MS:
+        if self.only_process and where in self._old and now >= self.started_ms + KERNEL_RESET_MS:
             found = self._old[where]
             who = found[0][0]
             ends = tuple((server, number) for other, server, number in found if other == who)
             return ReleaseConnectionLeases(
-                id=self._id(), holder=who, bucket=where, ends=ends, proof="reset", by=self.me
+                id=self._id(), holder=who, bucket=where, leases=ends, proof="reset", reported_by=self.holder
             )
-        wishes = {server: self._wish(self.pools[server]) for server in servers}
-        if not any(self._due(now, self.pools[server], wish) for server, wish in wishes.items()):
+        wishes = {server: self._wish(self.servers[server]) for server in servers}
+        if not any(self._due(now, self.servers[server], wish) for server, wish in wishes.items()):
             return None
-        asking = [server for server in servers if self.pools[server].number or wishes[server]]
-        asking.sort(key=lambda server: self.pools[server].asked)
+        asking = [server for server in servers if self.servers[server].lease_number or wishes[server]]
+        asking.sort(key=lambda server: self.servers[server].requested_at_ms)
         asks = []
-        for server in asking[:MOST_ASKS]:
-            pool = self.pools[server]
+        for server in asking[:MAX_REQUESTS_PER_CALL]:
+            pool = self.servers[server]
             # It has closed down to what it keeps before it says so, and opens no more until it is told.
-            pool.cap = min(max(pool.open, min(self._cap(now, pool), wishes[server])), pool.part)
-            pool.asked = now
-            pool.peak, pool.now_peak = pool.now_peak, pool.need
-            asks.append(ConnectionLeaseRequest(server, pool.number, pool.cap, wishes[server]))
+            pool.max_open = min(max(pool.open, min(self._max_open(now, pool), wishes[server])), pool.granted)
+            pool.requested_at_ms = now
+            pool.peak, pool.current_peak = pool.current_peak, pool.need
+            asks.append(ConnectionLeaseRequest(server, pool.lease_number, pool.max_open, wishes[server]))
         fresh = where not in self._asked_in
         return RequestConnectionLeases(
-            id=self._id(), holder=self.me, bucket=where, asks=tuple(asks), fresh=fresh
+            id=self._id(), holder=self.holder, bucket=where, requests=tuple(asks), first_request=fresh
         )
 
     def _id(self) -> str:
         self._count += 1
-        return f"conn/{self.me}/{self._count}"
+        return f"conn/{self.holder}/{self._count}"
 
     def answered(self, now: float, command: Command, result: ApplyResult | ClusterError) -> None:
         """See fleet.node.Holder."""
         where = command.key()
-        out = self._out.get(where)
+        out = self._pending.get(where)
         if out is None or out.command.id != command.id:
             return
         error = result if isinstance(result, ClusterError) else result.error
         if error is not None and not isinstance(error, InvalidCall | DuplicateId | WrongState):
             # Whether it was taken is not known, or not said: the same again, with its id, until it is.
-            out.under_way, out.again = False, now + min(SHORT_MS * 2**out.tries, self.timings.lease_ms)
-            out.tries = min(out.tries + 1, 8)
+            out.in_flight, out.retry_at_ms = (
+                False,
+                now + min(MIN_REQUEST_INTERVAL_MS * 2**out.retries, self.timings.lease_ms),
+            )
+            out.retries = min(out.retries + 1, 8)
             return
-        del self._out[where]
+        del self._pending[where]
         if isinstance(command, ReleaseConnectionLeases):
             left = [one for one in self._old.pop(where, []) if one[0] != command.holder]
             if left:
@@ -564,26 +586,29 @@
         self._asked_in.add(where)
         if result.value["old"]:
             self._old[where] = [(who, server, number) for who, server, number in result.value["old"]]
-        wishes = {ask.server: ask.wish for ask in command.asks}
+        wishes = {ask.server: ask.wanted for ask in command.requests}
         for server, number, part, aim, _spare in result.value["parts"]:
-            pool = self.pools.setdefault(server, _Pool())
-            short, longest = part < wishes[server], self.timings.lease_ms * LEASES / RENEWALS
-            pool.pause = min(pool.pause * 2, longest) if short else SHORT_MS
+            pool = self.servers.setdefault(server, ServerConnections())
+            short, longest = (
+                part < wishes[server],
+                self.timings.lease_ms * LEASE_MULTIPLE / RENEWALS_PER_LEASE,
+            )
+            pool.backoff_ms = min(pool.backoff_ms * 2, longest) if short else MIN_REQUEST_INTERVAL_MS
             if number <= 0:
                 # Over, given back, or the server is not known: nothing may be open.
-                pool.number, pool.part, pool.cap, pool.ends = 0, 0, 0, -math.inf
+                pool.lease_number, pool.granted, pool.max_open, pool.lease_expires_ms = 0, 0, 0, -math.inf
                 if not wishes[
                     server
                 ]:  # what was given back may be wished for again at once: a query does not wait long
-                    pool.asked = -math.inf
-                elif number == UNKNOWN and pool.pause >= min(UNKNOWN_MS, longest):
-                    self.unknown[server] = None
+                    pool.requested_at_ms = -math.inf
+                elif number == LIMIT_UNKNOWN and pool.backoff_ms >= min(UNKNOWN_LIMIT_AFTER_MS, longest):
+                    self.servers_without_limit[server] = None
                 continue
-            pool.number, pool.part, pool.cap = number, part, min(part, aim)
-            pool.ends = out.asked + self.timings.lease_ms * LEASES
+            pool.lease_number, pool.granted, pool.max_open = number, part, min(part, aim)
+            pool.lease_expires_ms = out.first_sent_ms + self.timings.lease_ms * LEASE_MULTIPLE
         for server in [
             one
-            for one, pool in self.pools.items()
-            if not (pool.open or pool.number or pool.need or pool.peak or pool.now_peak)
+            for one, pool in self.servers.items()
+            if not (pool.open or pool.lease_number or pool.need or pool.peak or pool.current_peak)
         ]:
-            del self.pools[server]  # servers come and go: what is not used is not remembered
+            del self.servers[server]  # servers come and go: what is not used is not remembered
--- a/badgeryoke/cluster/node.py
+++ b/badgeryoke/cluster/node.py
@@ -16,7 +16,7 @@
 import msgspec
 
 from badgeryoke.cluster.bootstrap import Bootstrap
-from badgeryoke.cluster.connection_limits import SetConnectionLimit, bucket
+from badgeryoke.cluster.connection_limits import SetConnectionLimit, server_bucket
 from badgeryoke.cluster.errors import (
     AnyError,
     ClusterError,
@@ -224,8 +224,8 @@
     def _hurry(self, now: float) -> None:
         """A roll has moved: whoever schedules it looks at once, not with the next heartbeat."""
         roll = self.states[FLEET].parts["rolls"].active
-        if roll is not None and (roll.name, roll.changes) != self._rolled:
-            self._rolled = roll.name, roll.changes
+        if roll is not None and (roll.name, roll.version) != self._rolled:
+            self._rolled = roll.name, roll.version
             self._work_at = self.due = now
 
     # Events -----------------------------------------------------------------------------------------------
@@ -580,7 +580,10 @@
         if replica.group == FLEET:
             parts = self.states[FLEET].parts
             places = parts["placing"]
-            load = {**load, "promised": parts["contracts"].promised(wall, wall + parts["rolls"].horizon_ms())}
+            load = {
+                **load,
+                "promised": parts["contracts"].promised(wall, wall + parts["rolls"].planning_horizon_ms()),
+            }
         behind = {
             group: held.behind for group, held in places.groups.items() if held.behind
         }  # as leaders reported it
@@ -625,14 +628,14 @@
         known, idle = state.parts["connections"].servers, self.setup.idle_ms
         return [
             SetConnectionLimit(
-                id=f"limit/{server}/{most}/{known[server].parts.whole if server in known else 0:g}/{state.index}",
+                id=f"limit/{server}/{most}/{known[server].pool.whole if server in known else 0:g}/{state.index}",
                 server=server,
-                most=most,
-                idle_ms=idle,
+                max_connections=most,
+                idle_timeout_ms=idle,
             )
             for server, most in self.limits.items()
-            if (server not in known or known[server].parts.whole != most)
-            and group_of(bucket(server), self.founding.record.groups) == group
+            if (server not in known or known[server].pool.whole != most)
+            and group_of(server_bucket(server), self.founding.record.groups) == group
         ]
 
     def _worked(self, command: Command) -> Callable[[float, ApplyResult | ClusterError], list[Effect]]:
--- a/badgeryoke/cluster/rolling_restart/restart.py
+++ b/badgeryoke/cluster/rolling_restart/restart.py
@@ -26,18 +26,23 @@
 from badgeryoke.cluster.messages import MemberId, member_name
 from badgeryoke.cluster.state_machine.part import ApplyResult, Command, LeaderView
 
-MOST_ROLLS = 16  # kept, the ended ones among them; the oldest ended goes first
-MOST_GATEWAYS = 1024
-MOST_AT_ONCE = 64
-MOST_TEXT = 256
-MOST_MS = 24 * 3_600_000.0
-BLOCK_MS = 1500.0  # a wave may wait so long for its conditions before the roll says that it is paused
-NEAR_MS = 50.0  # between two readings of a gateway that is under way
-READ_MS, PER_MEMBER_MS = 100.0, 10.0  # of another during a roll: the first, and more by the size of the fleet
-IDLE_MS = 500.0  # without a roll, and longer in large fleets; the first wave waits for it
+MAX_RESTARTS = 16  # kept, the ended ones among them; the oldest ended goes first
+MAX_GATEWAYS = 1024
+MAX_AT_ONCE = 64
+MAX_TEXT_CHARACTERS = 256
+MAX_DURATION_MS = 24 * 3_600_000.0
+PAUSE_AFTER_BLOCKED_MS = (
+    1500.0  # a wave may wait so long for its conditions before the roll says that it is paused
+)
+IN_PROGRESS_POLL_INTERVAL_MS = 50.0  # between two readings of a gateway that is under way
+MIN_POLL_INTERVAL_MS, POLL_INTERVAL_PER_MEMBER_MS = (
+    100.0,
+    10.0,
+)  # of another during a roll: the first, and more by the size of the fleet
+IDLE_POLL_INTERVAL_MS = 500.0  # without a roll, and longer in large fleets; the first wave waits for it
 # a reading older than this makes nobody turn clients away or leave: it was frozen, or cut off
-FRESH_MS = 1000.0
-GRANT_MS = 50.0  # beside a reading's time: others grow before the wave's gateways turn clients away
+MAX_ASSIGNMENT_AGE_MS = 1000.0
+GROWTH_MARGIN_MS = 50.0  # beside a reading's time: others grow before the wave's gateways turn clients away
 
 
 class RestartState(Enum):
@@ -66,7 +71,7 @@
 
 
 S, T = RestartState, RestartEvent
-TURNS: dict[tuple[RestartState, RestartEvent], RestartState] = {
+RESTART_TRANSITIONS: dict[tuple[RestartState, RestartEvent], RestartState] = {
     (S.ASKED, T.SEEN): S.PLANNING,
     (S.ASKED, T.CANCEL): S.CANCELLED,
     (S.PLANNING, T.PLANNED): S.RUNNING,
@@ -81,7 +86,7 @@
     (S.PAUSED, T.FINISHED): S.DONE,
     (S.CANCELLING, T.FINISHED): S.CANCELLED,
 }
-ENDED = frozenset({S.CANCELLED, S.DONE, S.FAILED})
+ENDED_STATES = frozenset({S.CANCELLED, S.DONE, S.FAILED})
 
 
 class GatewayPhase(Enum):
@@ -118,7 +123,7 @@
 
 
 G, E = GatewayPhase, GatewayEvent
-STEPS: dict[tuple[GatewayPhase, GatewayEvent], GatewayPhase] = {
+GATEWAY_TRANSITIONS: dict[tuple[GatewayPhase, GatewayEvent], GatewayPhase] = {
     (G.WAITING, E.BEGIN): G.GRANTING,
     (G.WAITING, E.CANCEL): G.UNDONE,
     (G.GRANTING, E.ROOMY): G.PAUSING,
@@ -143,11 +148,11 @@
     (G.UNDOING, E.BACK): G.UNDONE,
     (G.UNDOING, E.LOST): G.UNDONE,
 }
-RANK = {stand: place for place, stand in enumerate(GatewayPhase)}
-OVER = frozenset({G.DONE, G.UNDONE})
-AWAY = frozenset({G.GRANTING, G.PAUSING, G.EMPTYING, G.ACTING, G.HELD, G.RETURNING, G.UNDOING})
-UNDER_WAY = AWAY | {G.WARMING}
-DRAINED = frozenset({G.PAUSING, G.EMPTYING, G.ACTING, G.HELD})
+PHASE_RANK = {stand: place for place, stand in enumerate(GatewayPhase)}
+FINAL_PHASES = frozenset({G.DONE, G.UNDONE})
+UNAVAILABLE_PHASES = frozenset({G.GRANTING, G.PAUSING, G.EMPTYING, G.ACTING, G.HELD, G.RETURNING, G.UNDOING})
+IN_PROGRESS_PHASES = UNAVAILABLE_PHASES | {G.WARMING}
+DRAINED_PHASES = frozenset({G.PAUSING, G.EMPTYING, G.ACTING, G.HELD})
 # what a gateway says, and the step it makes; none: the leader makes it
 REPORTS: dict[str, GatewayEvent | None] = {
     "ready": None,
@@ -157,38 +162,47 @@
     "whole": E.WHOLE,
     "resumed": E.RESUMED,
 }
-LEADERS = frozenset({E.ROOMY, E.ACT, E.HOLD, E.WARM, E.LOST})
-NEEDS = {E.ROOMY: "ready", E.ACT: "empty", E.HOLD: "empty"}  # what the gateway must have said before
+LEADER_EVENTS = frozenset({E.ROOMY, E.ACT, E.HOLD, E.WARM, E.LOST})
+REQUIRED_REPORTS = {
+    E.ROOMY: "ready",
+    E.ACT: "empty",
+    E.HOLD: "empty",
+}  # what the gateway must have said before
 
 
 class ClusterConditions(msgspec.Struct, frozen=True, array_like=True):
     """On what a leader decided that gateways may go: counted by `count`, beside the choice of them."""
 
-    missing: int  # copies that are dead or behind, but for those of gateways that a wave has ended
-    spare: int  # voters beyond the majority in the group that has fewest, without the wave; 1 at the most
-    halls: int  # halls that would be left without a gateway
-    have: float  # units a second that what stays carries; below 0: not known
-    need: float
+    missing_copies: int  # copies that are dead or behind, but for those of gateways that a wave has ended
+    spare_voters: (
+        int  # voters beyond the majority in the group that has fewest, without the wave; 1 at the most
+    )
+    emptied_zones: int  # halls that would be left without a gateway
+    remaining_units_per_s: float  # units a second that what stays carries; below 0: not known
+    required_units_per_s: float
 
     def validate(self) -> tuple[Rule, str] | None:
         """The first condition that does not hold."""
-        if self.missing:
-            return Rule.COPIES_WHOLE, f"copies not whole: {self.missing} missing"
-        if self.spare < 0:
+        if self.missing_copies:
+            return Rule.COPIES_WHOLE, f"copies not whole: {self.missing_copies} missing"
+        if self.spare_voters < 0:
             return Rule.WAVE_KEEPS_QUORUM, "no majority: a group would be left without"
-        if self.halls:
+        if self.emptied_zones:
             return Rule.WAVE_KEEPS_QUORUM, "no hall: one would be left without a gateway"
-        if 0.0 <= self.have < self.need:
-            return Rule.WAVE_KEEPS_ROOM, f"no room: what stays carries {self.have:g} of {self.need:g} needed"
+        if 0.0 <= self.remaining_units_per_s < self.required_units_per_s:
+            return (
+                Rule.WAVE_KEEPS_ROOM,
+                f"no room: what stays carries {self.remaining_units_per_s:g} of {self.required_units_per_s:g} needed",
+            )
         return None
 
 
 def _texts(**given: str) -> str:
     return next(
         (
-            f"{key}: expected at most {MOST_TEXT} characters"
+            f"{key}: expected at most {MAX_TEXT_CHARACTERS} characters"
             for key, text in given.items()
-            if len(text) > MOST_TEXT
+            if len(text) > MAX_TEXT_CHARACTERS
         ),
         "",
     )
@@ -198,44 +212,46 @@
     """Drain gateways: by name, or of a hall, or all.  `deadline_ms`: for one to become empty, and to come
     back."""
 
-    roll: str
+    restart: str = msgspec.field(name="roll")
     gateways: tuple[str, ...] = ()
-    hall: str = ""
+    zone: str = msgspec.field(default="", name="hall")
     reason: str = ""
     deadline_ms: float = 60_000.0
     at_once: int = 1
-    act: str = "restart"  # or "hold"
-    warm_ms: float = 3000.0
-    hall_may_go: bool = False  # the only gateway of a hall may be drained
+    after_drain: str = msgspec.field(default="restart", name="act")  # or "hold"
+    warm_up_ms: float = msgspec.field(default=3000.0, name="warm_ms")
+    may_empty_zone: bool = msgspec.field(
+        default=False, name="hall_may_go"
+    )  # the only gateway of a hall may be drained
 
     def validate(self) -> str:
-        if not self.roll:
+        if not self.restart:
             return "roll: expected a name"
-        if self.act not in ("restart", "hold"):
-            return f"act: expected restart or hold, got {self.act[:MOST_TEXT]!r}"
-        if self.gateways and self.hall:
+        if self.after_drain not in ("restart", "hold"):
+            return f"act: expected restart or hold, got {self.after_drain[:MAX_TEXT_CHARACTERS]!r}"
+        if self.gateways and self.zone:
             return "hall: expected gateways or a hall, got both"
-        if len(self.gateways) > MOST_GATEWAYS or len(set(self.gateways)) < len(self.gateways):
-            return f"gateways: expected at most {MOST_GATEWAYS}, each once"
-        if not 1 <= self.at_once <= MOST_AT_ONCE:
-            return f"at_once: expected 1 to {MOST_AT_ONCE}, got {self.at_once}"
-        if not (0.0 < self.deadline_ms <= MOST_MS and 0.0 <= self.warm_ms <= MOST_MS):
-            return f"deadline_ms, warm_ms: expected above 0 and at most {MOST_MS:g}"
-        return _texts(roll=self.roll, hall=self.hall, reason=self.reason)
+        if len(self.gateways) > MAX_GATEWAYS or len(set(self.gateways)) < len(self.gateways):
+            return f"gateways: expected at most {MAX_GATEWAYS}, each once"
+        if not 1 <= self.at_once <= MAX_AT_ONCE:
+            return f"at_once: expected 1 to {MAX_AT_ONCE}, got {self.at_once}"
+        if not (0.0 < self.deadline_ms <= MAX_DURATION_MS and 0.0 <= self.warm_up_ms <= MAX_DURATION_MS):
+            return f"deadline_ms, warm_ms: expected above 0 and at most {MAX_DURATION_MS:g}"
+        return _texts(roll=self.restart, hall=self.zone, reason=self.reason)
 
 
 class CancelRollingRestart(Command, frozen=True, tag="RollCancel"):
     """Take a roll back: whoever is drained serves again, whoever has left comes back, nobody else is
     drained."""
 
-    roll: str
+    restart: str = msgspec.field(name="roll")
 
 
 class ResumeGateway(Command, frozen=True, tag="RollResume"):
     """Let go who is held, all or one by name; `force`: act on those that do not become empty, at their
     loss."""
 
-    roll: str
+    restart: str = msgspec.field(name="roll")
     gateway: str = ""
     force: bool = False
 
@@ -243,45 +259,47 @@
 class RecordRestartEvent(Command, frozen=True, tag="RollTurn"):
     """A turn of the roll, by the leader."""
 
-    roll: str
-    stamp: int
-    turn: str  # a Turn's name
-    why: str = ""
+    restart: str = msgspec.field(name="roll")
+    restart_version: int = msgspec.field(name="stamp")
+    event: str = msgspec.field(name="turn")  # a Turn's name
+    cause: str = msgspec.field(default="", name="why")
     order: tuple[str, ...] = ()
-    members: int = 0
+    member_count: int = msgspec.field(default=0, name="members")
 
 
 class StartWave(Command, frozen=True, tag="RollWave"):
     """A wave begins, by the leader."""
 
-    roll: str
-    stamp: int
+    restart: str = msgspec.field(name="roll")
+    restart_version: int = msgspec.field(name="stamp")
     gateways: tuple[str, ...]
-    facts: ClusterConditions
+    conditions: ClusterConditions = msgspec.field(name="facts")
 
 
 class RecordGatewayEvent(Command, frozen=True, tag="RollStep"):
     """A step of one gateway, by the leader."""
 
-    roll: str
+    restart: str = msgspec.field(name="roll")
     gateway: str
-    round: int
-    step: str  # a Step's name
-    facts: ClusterConditions | None = None
-    stamp: int = -1  # the roll's count of changes on which the facts were counted, where there are any
+    gateway_version: int = msgspec.field(name="round")
+    event: str = msgspec.field(name="step")  # a Step's name
+    conditions: ClusterConditions | None = msgspec.field(default=None, name="facts")
+    restart_version: int = msgspec.field(
+        default=-1, name="stamp"
+    )  # the roll's count of changes on which the facts were counted, where there are any
 
 
 class ReportGateway(Command, frozen=True, tag="RollReport"):
     """What a gateway has done.  Answered as RollRead."""
 
-    roll: str
+    restart: str = msgspec.field(name="roll")
     gateway: str
-    round: int
-    what: str
+    gateway_version: int = msgspec.field(name="round")
+    report: str = msgspec.field(name="what")
     process: str
 
     def validate(self) -> str:
-        if self.what not in REPORTS:
+        if self.report not in REPORTS:
             return f"what: expected one of {', '.join(REPORTS)}"
         return _texts(process=self.process) or ("" if self.process else "process: expected a name")
 
@@ -300,7 +318,7 @@
 
 
 # The others are the fleet's own.
-OPERATORS: tuple[type[Command], ...] = (
+OPERATOR_COMMANDS: tuple[type[Command], ...] = (
     StartRollingRestart,
     CancelRollingRestart,
     ResumeGateway,
@@ -308,7 +326,7 @@
     ReadRollingRestarts,
 )
 COMMANDS: tuple[type[Command], ...] = (
-    *OPERATORS,
+    *OPERATOR_COMMANDS,
     RecordRestartEvent,
     StartWave,
     RecordGatewayEvent,
@@ -320,12 +338,12 @@
 class GatewayProgress:
     """One gateway in a roll."""
 
-    stand: GatewayPhase = G.WAITING
-    round: int = 0
-    since: float = 0.0  # group's time of its last step
-    told: str = ""  # what it has said in this round
+    phase: GatewayPhase = G.WAITING
+    version: int = 0
+    since_ms: float = 0.0  # group's time of its last step
+    report: str = ""  # what it has said in this round
     process: str = ""  # that was there when its wave began
-    drains: int = 0
+    drain_count: int = 0
 
 
 @dataclass(slots=True)
@@ -333,21 +351,21 @@
     """One roll."""
 
     name: str
-    ask: StartRollingRestart
+    request: StartRollingRestart
     state: RestartState = S.ASKED
-    since: float = 0.0
-    why: str = ""
-    changes: int = 0  # of it and its gateways; a leader's command names the count it saw
-    members: int = 1
+    since_ms: float = 0.0
+    cause: str = ""
+    version: int = 0  # of it and its gateways; a leader's command names the count it saw
+    member_count: int = 1
     gateways: dict[str, GatewayProgress] = field(default_factory=dict)
 
-    def under_way(self) -> list[str]:
+    def gateways_in_progress(self) -> list[str]:
         """Who is in a wave."""
-        return [name for name, one in self.gateways.items() if one.stand in UNDER_WAY]
+        return [name for name, one in self.gateways.items() if one.phase in IN_PROGRESS_PHASES]
 
-    def reading_ms(self) -> float:
+    def poll_interval_ms(self) -> float:
         """Between two readings of a gateway that is not under way."""
-        return max(READ_MS, PER_MEMBER_MS * self.members)
+        return max(MIN_POLL_INTERVAL_MS, POLL_INTERVAL_PER_MEMBER_MS * self.member_count)
 
 
 class RollingRestarts:
@@ -355,7 +373,7 @@
 
     def __init__(self, rules: Invariants) -> None:
         self._rules = rules
-        self.rolls: dict[str, RollingRestart] = {}
+        self.restarts: dict[str, RollingRestart] = {}
         self._blocked: tuple[str, str, float] = (
             "",
             "",
@@ -365,7 +383,7 @@
     @property
     def active(self) -> RollingRestart | None:
         """The one under way."""
-        return next((roll for roll in self.rolls.values() if roll.state not in ENDED), None)
+        return next((roll for roll in self.restarts.values() if roll.state not in ENDED_STATES), None)
 
     # What is applied.
 
@@ -374,13 +392,13 @@
         if said := command.validate():
             return ApplyResult(error=InvalidCall("roll", said))
         if isinstance(command, ReadDesiredState):
-            return ApplyResult(self.where(command.gateway))
+            return ApplyResult(self.assignment(command.gateway))
         if isinstance(command, StartRollingRestart):
             return self._ask(at_ms, command)
-        roll = self.rolls.get(command.roll) if hasattr(command, "roll") else None
+        roll = self.restarts.get(command.restart) if hasattr(command, "restart") else None
         if roll is None:
             return ApplyResult(
-                error=NotFound(str(getattr(command, "roll", "roll")), "no roll of that name is known")
+                error=NotFound(str(getattr(command, "restart", "roll")), "no roll of that name is known")
             )
         if isinstance(command, CancelRollingRestart):
             return self._cancel(at_ms, roll)
@@ -399,46 +417,46 @@
     def query(self, command: ReadDesiredState | ReadRollingRestarts) -> ApplyResult:
         """Read where one gateway stands, or every roll."""
         return ApplyResult(
-            self.told() if isinstance(command, ReadRollingRestarts) else self.where(command.gateway)
+            self.summaries() if isinstance(command, ReadRollingRestarts) else self.assignment(command.gateway)
         )
 
     def _ask(self, at_ms: float, command: StartRollingRestart) -> ApplyResult:
-        if command.roll in self.rolls:
-            return ApplyResult(error=WrongState(command.roll, "a roll of that name is known already"))
+        if command.restart in self.restarts:
+            return ApplyResult(error=WrongState(command.restart, "a roll of that name is known already"))
         if (other := self.active) is not None:
             return ApplyResult(
-                error=WrongState(command.roll, f"{other.name} is {other.state.value}: one roll at a time")
+                error=WrongState(command.restart, f"{other.name} is {other.state.value}: one roll at a time")
             )
-        while len(self.rolls) >= MOST_ROLLS:
-            del self.rolls[next(iter(self.rolls))]  # all have ended, the first longest ago
-        self.rolls[command.roll] = RollingRestart(command.roll, command, since=at_ms)
-        return ApplyResult({"roll": command.roll, "state": S.ASKED.value})
+        while len(self.restarts) >= MAX_RESTARTS:
+            del self.restarts[next(iter(self.restarts))]  # all have ended, the first longest ago
+        self.restarts[command.restart] = RollingRestart(command.restart, command, since_ms=at_ms)
+        return ApplyResult({"roll": command.restart, "state": S.ASKED.value})
 
     def _move(self, at_ms: float, roll: RollingRestart, turn: RestartEvent, why: str = "") -> bool:
-        after = TURNS.get((roll.state, turn))
+        after = RESTART_TRANSITIONS.get((roll.state, turn))
         if after is None:
             return False
-        roll.state, roll.since, roll.why = after, at_ms, why
-        roll.changes += 1
+        roll.state, roll.since_ms, roll.cause = after, at_ms, why
+        roll.version += 1
         return True
 
     def _go(self, at_ms: float, roll: RollingRestart, name: str, step: GatewayEvent) -> bool:
         """One gateway's step, and the roll's end where it was the last."""
         one = roll.gateways[name]
-        after = STEPS.get((one.stand, step))
+        after = GATEWAY_TRANSITIONS.get((one.phase, step))
         if after is None:
             return False
-        one.drains += after is G.PAUSING
+        one.drain_count += after is G.PAUSING
         self._rules.check(
             Rule.ROLL_FORWARD,
-            RANK[after] > RANK[one.stand] and one.drains <= 1,
-            lambda: f"{roll.name}: {name} from {one.stand.value} to {after.value}, {one.drains} drains",
+            PHASE_RANK[after] > PHASE_RANK[one.phase] and one.drain_count <= 1,
+            lambda: f"{roll.name}: {name} from {one.phase.value} to {after.value}, {one.drain_count} drains",
         )
-        one.stand, one.since, one.told = after, at_ms, ""
-        one.round += 1
-        roll.changes += 1
-        if all(other.stand in OVER for other in roll.gateways.values()):
-            self._move(at_ms, roll, T.FINISHED, roll.why)
+        one.phase, one.since_ms, one.report = after, at_ms, ""
+        one.version += 1
+        roll.version += 1
+        if all(other.phase in FINAL_PHASES for other in roll.gateways.values()):
+            self._move(at_ms, roll, T.FINISHED, roll.cause)
         return True
 
     def _cancel(self, at_ms: float, roll: RollingRestart) -> ApplyResult:
@@ -454,11 +472,11 @@
         moved = 0
         for name in [command.gateway] if command.gateway else list(roll.gateways):
             one = roll.gateways[name]
-            if one.stand is G.HELD:
+            if one.phase is G.HELD:
                 moved += self._go(at_ms, roll, name, E.RELEASE)
-            elif command.force and one.stand is G.EMPTYING and one.told != "empty":
-                one.told = "empty"
-                roll.changes += 1
+            elif command.force and one.phase is G.EMPTYING and one.report != "empty":
+                one.report = "empty"
+                roll.version += 1
                 moved += 1
         if not moved:
             return ApplyResult(
@@ -467,20 +485,20 @@
         return ApplyResult(self._tell(roll))
 
     def _turn(self, at_ms: float, roll: RollingRestart, command: RecordRestartEvent) -> ApplyResult:
-        turn = RestartEvent.__members__.get(command.turn)
-        if command.stamp != roll.changes or turn in (None, T.CANCEL, T.FINISHED):
+        turn = RestartEvent.__members__.get(command.event)
+        if command.restart_version != roll.version or turn in (None, T.CANCEL, T.FINISHED):
             return ApplyResult(error=WrongState(roll.name, "it has moved on"))
         assert turn is not None
         if turn is T.PLANNED and (not command.order or len(set(command.order)) < len(command.order)):
             return ApplyResult(error=InvalidCall(roll.name, "order: expected gateways, each once"))
-        if not self._move(at_ms, roll, turn, command.why):
+        if not self._move(at_ms, roll, turn, command.cause):
             return ApplyResult(error=WrongState(roll.name, f"it is {roll.state.value}"))
         if turn is T.PLANNED:
-            roll.gateways = {name: GatewayProgress(since=at_ms) for name in command.order}
-            roll.members = max(command.members, 1)
+            roll.gateways = {name: GatewayProgress(since_ms=at_ms) for name in command.order}
+            roll.member_count = max(command.member_count, 1)
         return ApplyResult(self._tell(roll))
 
-    def _allowed(self, roll: RollingRestart, facts: ClusterConditions | None) -> str:
+    def _check_conditions(self, roll: RollingRestart, facts: ClusterConditions | None) -> str:
         """Why gateways may not go; a leader that proposes it all the same has broken a rule."""
         found = facts.validate() if facts is not None else (Rule.WAVE_KEEPS_ROOM, "no facts")
         if found is None:
@@ -489,109 +507,109 @@
         return found[1]
 
     def _wave(self, at_ms: float, roll: RollingRestart, command: StartWave) -> ApplyResult:
-        if command.stamp != roll.changes or roll.state is not S.RUNNING:
+        if command.restart_version != roll.version or roll.state is not S.RUNNING:
             return ApplyResult(error=WrongState(roll.name, "it has moved on"))
-        if not 1 <= len(command.gateways) <= roll.ask.at_once or roll.under_way():
+        if not 1 <= len(command.gateways) <= roll.request.at_once or roll.gateways_in_progress():
             return ApplyResult(
                 error=WrongState(roll.name, "the wave before is under way, or this one is too large")
             )
         if any(
-            name not in roll.gateways or roll.gateways[name].stand is not G.WAITING
+            name not in roll.gateways or roll.gateways[name].phase is not G.WAITING
             for name in command.gateways
         ):
             return ApplyResult(error=WrongState(roll.name, "not all of them wait"))
-        if said := self._allowed(roll, command.facts):
+        if said := self._check_conditions(roll, command.conditions):
             return ApplyResult(error=WrongState(roll.name, said))
         for name in command.gateways:
             self._go(at_ms, roll, name, E.BEGIN)
         return ApplyResult(self._tell(roll))
 
-    def _current(self, one: GatewayProgress, round_: int) -> bool:
+    def _is_current(self, one: GatewayProgress, round_: int) -> bool:
         """Whether a step or a report was meant for where the gateway stands now."""
-        return one.round == round_
+        return one.version == round_
 
     def _step(self, at_ms: float, roll: RollingRestart, command: RecordGatewayEvent) -> ApplyResult:
-        one, step = roll.gateways.get(command.gateway), GatewayEvent.__members__.get(command.step)
-        if one is None or step not in LEADERS or not self._current(one, command.round):
+        one, step = roll.gateways.get(command.gateway), GatewayEvent.__members__.get(command.event)
+        if one is None or step not in LEADER_EVENTS or not self._is_current(one, command.gateway_version):
             return ApplyResult(error=WrongState(roll.name, f"{command.gateway} has moved on"))
-        if step in NEEDS:
-            other = E.ACT if roll.ask.act == "hold" else E.HOLD
-            if command.stamp != roll.changes:
+        if step in REQUIRED_REPORTS:
+            other = E.ACT if roll.request.after_drain == "hold" else E.HOLD
+            if command.restart_version != roll.version:
                 # another may have left since
                 return ApplyResult(error=WrongState(roll.name, "it has moved on"))
-            if roll.state is not S.RUNNING or one.told != NEEDS[step] or step is other:
+            if roll.state is not S.RUNNING or one.report != REQUIRED_REPORTS[step] or step is other:
                 return ApplyResult(error=WrongState(roll.name, f"{command.gateway} is not ready for that"))
-            if said := self._allowed(roll, command.facts):
+            if said := self._check_conditions(roll, command.conditions):
                 return ApplyResult(error=WrongState(roll.name, said))
         if step is E.LOST and roll.state is not S.CANCELLING:
             return ApplyResult(error=WrongState(roll.name, "it waits for who is lost"))
         if not self._go(at_ms, roll, command.gateway, step):
-            return ApplyResult(error=WrongState(roll.name, f"{command.gateway} is {one.stand.value}"))
+            return ApplyResult(error=WrongState(roll.name, f"{command.gateway} is {one.phase.value}"))
         return ApplyResult(self._tell(roll))
 
     def _report(self, at_ms: float, roll: RollingRestart, command: ReportGateway) -> ApplyResult:
         one = roll.gateways.get(command.gateway)
-        if one is None or not self._current(one, command.round):
-            return ApplyResult(self.where(command.gateway))  # it learns where it stands
-        step = REPORTS[command.what]
+        if one is None or not self._is_current(one, command.gateway_version):
+            return ApplyResult(self.assignment(command.gateway))  # it learns where it stands
+        step = REPORTS[command.report]
         if step is not None:
             # "back" is another process than the one whose wave began.
             if step is not E.BACK or one.process != command.process:
                 self._go(at_ms, roll, command.gateway, step)
-        elif command.what == {G.GRANTING: "ready", G.EMPTYING: "empty"}.get(one.stand):
-            if command.what == "ready":
+        elif command.report == {G.GRANTING: "ready", G.EMPTYING: "empty"}.get(one.phase):
+            if command.report == "ready":
                 one.process = command.process
-            if one.told != command.what:
-                one.told = command.what
-                roll.changes += 1
-        return ApplyResult(self.where(command.gateway))
+            if one.report != command.report:
+                one.report = command.report
+                roll.version += 1
+        return ApplyResult(self.assignment(command.gateway))
 
     # What is read.
 
-    def where(self, name: str) -> dict[str, Any]:
+    def assignment(self, name: str) -> dict[str, Any]:
         """Where one gateway stands: an empty `roll` where it is in none that is under way."""
         roll = self.active
         if roll is None:
-            return {"roll": "", "read_ms": IDLE_MS, "grow": 1.0}
-        away = sum(one.stand in AWAY for one in roll.gateways.values())
-        grow = roll.members / max(roll.members - away, 1)
+            return {"roll": "", "read_ms": IDLE_POLL_INTERVAL_MS, "grow": 1.0}
+        away = sum(one.phase in UNAVAILABLE_PHASES for one in roll.gateways.values())
+        grow = roll.member_count / max(roll.member_count - away, 1)
         one = roll.gateways.get(name)
         if one is None:
-            return {"roll": "", "read_ms": roll.reading_ms(), "grow": grow}
-        under_way = one.stand in UNDER_WAY
+            return {"roll": "", "read_ms": roll.poll_interval_ms(), "grow": grow}
+        under_way = one.phase in IN_PROGRESS_PHASES
         return {
             "roll": roll.name,
-            "stand": one.stand.name,
-            "round": one.round,
-            "told": one.told,
+            "stand": one.phase.name,
+            "round": one.version,
+            "told": one.report,
             "process": one.process,
-            "read_ms": NEAR_MS if under_way else roll.reading_ms(),
-            "grow": 1.0 if one.stand in AWAY else grow,
+            "read_ms": IN_PROGRESS_POLL_INTERVAL_MS if under_way else roll.poll_interval_ms(),
+            "grow": 1.0 if one.phase in UNAVAILABLE_PHASES else grow,
         }
 
     def _tell(self, roll: RollingRestart) -> dict[str, Any]:
         return {
             "roll": roll.name,
             "state": roll.state.value,
-            "why": roll.why,
-            "act": roll.ask.act,
-            "reason": roll.ask.reason,
-            "since_ms": roll.since,
-            "gateways": {name: one.stand.value for name, one in roll.gateways.items()},
+            "why": roll.cause,
+            "act": roll.request.after_drain,
+            "reason": roll.request.reason,
+            "since_ms": roll.since_ms,
+            "gateways": {name: one.phase.value for name, one in roll.gateways.items()},
         }
 
-    def told(self) -> list[dict[str, Any]]:
+    def summaries(self) -> list[dict[str, Any]]:
         """For operators: every roll that is kept."""
-        return [self._tell(roll) for roll in self.rolls.values()]
+        return [self._tell(roll) for roll in self.restarts.values()]
 
-    def horizon_ms(self) -> float:
+    def planning_horizon_ms(self) -> float:
         """So far ahead contracts' windows count as `promised` for the next wave."""
         roll = self.active
-        return 2 * roll.ask.deadline_ms + roll.ask.warm_ms if roll is not None else 0.0
+        return 2 * roll.request.deadline_ms + roll.request.warm_up_ms if roll is not None else 0.0
 
     # What the leader proposes.
 
-    def count(
+    def observe_conditions(
         self, view: LeaderView, roll: RollingRestart, wave: Iterable[str], leaving: str = ""
     ) -> ClusterConditions:
         """What would be left without the wave and those away already.  `leaving`: who of them would leave
@@ -602,11 +620,11 @@
         outside of contracts; "promised", the contracts' rates up to `horizon_ms` ahead.  Without a capacity
         room is not judged.
         """
-        gone = {name for name, one in roll.gateways.items() if one.stand in AWAY}
+        gone = {name for name, one in roll.gateways.items() if one.phase in UNAVAILABLE_PHASES}
         # Before it has left a gateway of the wave has its copies, or has lost them meanwhile.
-        left = {name for name, one in roll.gateways.items() if one.stand in (G.ACTING, G.RETURNING)}
+        left = {name for name, one in roll.gateways.items() if one.phase in (G.ACTING, G.RETURNING)}
         away = gone | set(wave)
-        held = {name for name, one in roll.gateways.items() if one.stand is G.HELD}
+        held = {name for name, one in roll.gateways.items() if one.phase is G.HELD}
         off = left | held | {leaving} if leaving else away
         alive = {member_name(who) for who in view.alive}
         missing, spare = 0, 1
@@ -622,7 +640,7 @@
         missing += sum(member_name(who) not in left for found in view.behind.values() for who in found)
         halls = {view.halls[name] for name in alive if name in view.halls}
         left = {view.halls[name] for name in alive - away if name in view.halls}
-        short = 0 if roll.ask.hall_may_go and left else len(halls - left)
+        short = 0 if roll.request.may_empty_zone and left else len(halls - left)
         have = -1.0
         if "capacity" in view.load:
             have = view.load["capacity"] * len(alive - away) / max(len(alive), 1)
@@ -642,14 +660,15 @@
         made: list[Command] = [
             self._stepped(roll, name, E.WARM)
             for name, one in roll.gateways.items()
-            if one.stand is G.WARMING and view.wall - one.since >= roll.ask.warm_ms
+            if one.phase is G.WARMING and view.wall - one.since_ms >= roll.request.warm_up_ms
         ]
         if roll.state is S.CANCELLING:
             lost = {member_name(who): ms for who, ms in view.dead_for.items()}
             made += [
                 self._stepped(roll, name, E.LOST)
                 for name, one in roll.gateways.items()
-                if lost.get(name, 0.0) >= view.timings.repair_after_ms and (one.stand, E.LOST) in STEPS
+                if lost.get(name, 0.0) >= view.timings.repair_after_ms
+                and (one.phase, E.LOST) in GATEWAY_TRANSITIONS
             ]
             return made
         hard = self._failed(view, roll)
@@ -668,13 +687,13 @@
         if roll.state is S.PAUSED:
             if not why:
                 return [self._turned(roll, T.MENDED)]
-            return [self._turned(roll, T.BLOCKED, why)] if kind != roll.why.partition(":")[0] else []
+            return [self._turned(roll, T.BLOCKED, why)] if kind != roll.cause.partition(":")[0] else []
         if not why:
             self._blocked = ("", "", 0.0)
             return further
         if self._blocked[:2] != (roll.name, kind):
             self._blocked = (roll.name, kind, view.now)
-        if hard or view.now - self._blocked[2] >= BLOCK_MS:
+        if hard or view.now - self._blocked[2] >= PAUSE_AFTER_BLOCKED_MS:
             return [self._turned(roll, T.BLOCKED, why)]
         return further
 
@@ -687,41 +706,41 @@
         members: int = 0,
     ) -> RecordRestartEvent:
         return RecordRestartEvent(
-            id=f"roll/{roll.name}/{roll.changes}/{turn.name}",
-            roll=roll.name,
-            stamp=roll.changes,
-            turn=turn.name,
-            why=why,
+            id=f"roll/{roll.name}/{roll.version}/{turn.name}",
+            restart=roll.name,
+            restart_version=roll.version,
+            event=turn.name,
+            cause=why,
             order=order,
-            members=members,
+            member_count=members,
         )
 
     def _stepped(
         self, roll: RollingRestart, name: str, step: GatewayEvent, facts: ClusterConditions | None = None
     ) -> RecordGatewayEvent:
-        round_ = roll.gateways[name].round
+        round_ = roll.gateways[name].version
         # The roll's count is in the id: a step refused where the roll stood then may be made where it stands
         # now.
         return RecordGatewayEvent(
-            id=f"roll/{roll.name}/{roll.changes}/{name}/{round_}/{step.name}",
-            roll=roll.name,
+            id=f"roll/{roll.name}/{roll.version}/{name}/{round_}/{step.name}",
+            restart=roll.name,
             gateway=name,
-            round=round_,
-            step=step.name,
-            facts=facts,
-            stamp=roll.changes,
+            gateway_version=round_,
+            event=step.name,
+            conditions=facts,
+            restart_version=roll.version,
         )
 
     def _plan(self, view: LeaderView, roll: RollingRestart) -> RecordRestartEvent:
         """Who comes when: as asked for, and this leader last, so that it hands over once."""
-        ask = roll.ask
+        ask = roll.request
         names = list(ask.gateways) or [
-            name for name in sorted(view.halls) if ask.hall in ("", view.halls[name])
+            name for name in sorted(view.halls) if ask.zone in ("", view.halls[name])
         ]
         unknown = [name for name in names if name not in view.halls]
         if unknown or not names:
             return self._turned(
-                roll, T.IMPOSSIBLE, f"no such gateway: {', '.join(unknown)[:MOST_TEXT] or ask.hall}"
+                roll, T.IMPOSSIBLE, f"no such gateway: {', '.join(unknown)[:MAX_TEXT_CHARACTERS] or ask.zone}"
             )
         names.sort(key=lambda name: name == member_name(view.me))
         return self._turned(roll, T.PLANNED, order=tuple(names), members=len(view.halls))
@@ -731,16 +750,16 @@
         that for a moment when its process is back."""
         dead = {member_name(who) for who in view.dead_for} - {member_name(who) for who in view.alive}
         for name, one in roll.gateways.items():
-            if one.stand not in UNDER_WAY:
+            if one.phase not in IN_PROGRESS_PHASES:
                 continue
-            if name in dead and one.stand not in (G.ACTING, G.HELD, G.RETURNING):
-                return f"{name} is dead while {one.stand.value}"
+            if name in dead and one.phase not in (G.ACTING, G.HELD, G.RETURNING):
+                return f"{name} is dead while {one.phase.value}"
             if (
-                one.stand not in (G.HELD, G.WARMING)
-                and not one.told
-                and view.wall - one.since >= roll.ask.deadline_ms
+                one.phase not in (G.HELD, G.WARMING)
+                and not one.report
+                and view.wall - one.since_ms >= roll.request.deadline_ms
             ):
-                return f"{name} is late {one.stand.value}"
+                return f"{name} is late {one.phase.value}"
         return ""
 
     def _further(self, view: LeaderView, roll: RollingRestart) -> tuple[str, list[Command]]:
@@ -748,18 +767,19 @@
         way."""
         said = ""
         for name, one in roll.gateways.items():
-            step = {G.GRANTING: E.ROOMY, G.EMPTYING: E.HOLD if roll.ask.act == "hold" else E.ACT}.get(
-                one.stand
-            )
-            if step is None or one.told != NEEDS[step]:
+            step = {
+                G.GRANTING: E.ROOMY,
+                G.EMPTYING: E.HOLD if roll.request.after_drain == "hold" else E.ACT,
+            }.get(one.phase)
+            if step is None or one.report != REQUIRED_REPORTS[step]:
                 continue
-            if step is E.ROOMY and view.wall - one.since < GRANT_MS + roll.reading_ms():
+            if step is E.ROOMY and view.wall - one.since_ms < GROWTH_MARGIN_MS + roll.poll_interval_ms():
                 continue  # the others are growing
-            facts = self.count(view, roll, (), "" if step is E.ROOMY else name)
+            facts = self.observe_conditions(view, roll, (), "" if step is E.ROOMY else name)
             if (found := facts.validate()) is None:
                 return "", [self._stepped(roll, name, step, facts)]
             said = said or found[1]
-        if said or roll.under_way():
+        if said or roll.gateways_in_progress():
             return said, []
         return self._next(view, roll)
 
@@ -769,12 +789,12 @@
         wave: list[str] = []
         said = ""
         for name, one in roll.gateways.items():
-            if one.stand is not G.WAITING or len(wave) >= roll.ask.at_once:
+            if one.phase is not G.WAITING or len(wave) >= roll.request.at_once:
                 continue
             if name not in alive:
                 said = said or f"{name} is dead while waiting"
                 continue
-            found = self.count(view, roll, [*wave, name]).validate()
+            found = self.observe_conditions(view, roll, [*wave, name]).validate()
             if found is None:
                 wave.append(name)
             else:
@@ -783,11 +803,11 @@
             return said, []
         return "", [
             StartWave(
-                id=f"roll/{roll.name}/{roll.changes}/wave",
-                roll=roll.name,
-                stamp=roll.changes,
+                id=f"roll/{roll.name}/{roll.version}/wave",
+                restart=roll.name,
+                restart_version=roll.version,
                 gateways=tuple(wave),
-                facts=self.count(view, roll, wave),
+                conditions=self.observe_conditions(view, roll, wave),
             )
         ]
 
@@ -798,27 +818,35 @@
         """See badgeryoke.cluster.state_machine.part."""
         return [
             [
-                msgspec.to_builtins(roll.ask),
+                msgspec.to_builtins(roll.request),
                 roll.state.name,
-                roll.since,
-                roll.why,
-                roll.changes,
-                roll.members,
+                roll.since_ms,
+                roll.cause,
+                roll.version,
+                roll.member_count,
                 [
-                    [name, one.stand.name, one.round, one.since, one.told, one.process, one.drains]
+                    [
+                        name,
+                        one.phase.name,
+                        one.version,
+                        one.since_ms,
+                        one.report,
+                        one.process,
+                        one.drain_count,
+                    ]
                     for name, one in roll.gateways.items()
                 ],
             ]
-            for roll in self.rolls.values()
+            for roll in self.restarts.values()
         ]
 
     def load(self, raw: Any) -> None:
         """See badgeryoke.cluster.state_machine.part."""
-        self.rolls = {}
+        self.restarts = {}
         for ask, state, since, why, changes, members, gateways in raw:
             asked = msgspec.convert(ask, StartRollingRestart)
-            self.rolls[asked.roll] = RollingRestart(
-                asked.roll,
+            self.restarts[asked.restart] = RollingRestart(
+                asked.restart,
                 asked,
                 RestartState[state],
                 since,
@@ -842,74 +870,84 @@
     """A gateway's side.  The shell tells how it stands (`tell`), takes `duties`, and goes by the three
     flags."""
 
-    me: str  # its name
+    gateway: str  # its name
     process: MemberId  # this process: another one is another start
-    members: int = 1  # of the fleet
-    moved: Callable[[], None] | None = None  # told that the stand is another, so that the shell looks at once
+    member_count: int = 1  # of the fleet
+    on_phase_change: Callable[[], None] | None = (
+        None  # told that the stand is another, so that the shell looks at once
+    )
     paused: bool = False  # by a roll; what an operator paused is left alone
-    left: bool = False
-    record: dict[str, Any] = field(default_factory=dict)
+    leaving: bool = False
+    assignment: dict[str, Any] = field(default_factory=dict)
     _ready: dict[str, bool] = field(default_factory=dict)
     _out: ReportGateway | ReadDesiredState | None = None
     _under_way: bool = False
     _asked: float = 0.0
-    _read: float = -FRESH_MS  # when the reading that `record` is of was asked for
+    _read: float = -MAX_ASSIGNMENT_AGE_MS  # when the reading that `record` is of was asked for
     _next: float = 0.0
     _count: int = 0
 
     @property
-    def stand(self) -> GatewayPhase | None:
+    def phase(self) -> GatewayPhase | None:
         """Where this gateway stands in a roll; none where it is in none."""
-        return GatewayPhase[self.record["stand"]] if self.record.get("roll") else None
+        return GatewayPhase[self.assignment["stand"]] if self.assignment.get("roll") else None
 
     @property
-    def mine(self) -> bool:
+    def concerns_this_process(self) -> bool:
         """Whether the stand is this process's: a drain that was begun with the one before is not."""
-        return self.record.get("process", "") in ("", self.process)
+        return self.assignment.get("process", "") in ("", self.process)
 
     @property
-    def lead_nothing(self) -> bool:
+    def must_not_lead(self) -> bool:
         """Hand over whatever is led, again if elected.  The same holds for `Keeper.leaving`."""
-        return self.mine and self.stand in (G.GRANTING, G.PAUSING, G.EMPTYING, G.ACTING, G.HELD)
+        return self.concerns_this_process and self.phase in (
+            G.GRANTING,
+            G.PAUSING,
+            G.EMPTYING,
+            G.ACTING,
+            G.HELD,
+        )
 
     @property
-    def grow(self) -> float:
+    def need_multiple(self) -> float:
         """For `Keeper.grow`."""
-        return float(self.record.get("grow", 1.0))
+        return float(self.assignment.get("grow", 1.0))
 
-    def tell(self, *, leads: int, trimmed: bool, drained: bool, empty: bool, whole: bool) -> None:
+    def observe(
+        self, *, groups_led: int, trimmed: bool, drained: bool, empty: bool, copies_complete: bool
+    ) -> None:
         """How this gateway stands: groups led; whether its connections are down to its need; whether
         clients are turned away and the front knows; whether nothing is open and no lease held; whether its
         copies have caught up."""
         self._ready = {
-            "ready": not leads and trimmed,
+            "ready": not groups_led and trimmed,
             "paused": drained,
             "empty": drained and empty,
-            "whole": not drained and whole,
+            "whole": not drained and copies_complete,
             "resumed": not drained,
             "back": True,
         }
 
-    def duties(self, now: float) -> list[DesiredState]:
+    def next_actions(self, now: float) -> list[DesiredState]:
         """What has to be done now, each told once."""
-        drained = self.mine and self.stand in DRAINED
+        drained = self.concerns_this_process and self.phase in DRAINED_PHASES
         found: list[DesiredState] = []
-        if drained and now - self._read > FRESH_MS:
+        if drained and now - self._read > MAX_ASSIGNMENT_AGE_MS:
             return found
-        if drained is not self.paused and not self.left:
+        if drained is not self.paused and not self.leaving:
             self.paused = drained
             found.append(DesiredState.PAUSE if drained else DesiredState.RESUME)
-        if drained and self.stand is G.ACTING and not self.left:
-            self.left = True
+        if drained and self.phase is G.ACTING and not self.leaving:
+            self.leaving = True
             found.append(DesiredState.LEAVE)
         return found
 
     def _report(self) -> str:
         """What there is to say."""
-        stand = self.stand
-        if stand is None or self.left:
+        stand = self.phase
+        if stand is None or self.leaving:
             return ""
-        if not self.mine and stand in DRAINED | {G.UNDOING}:
+        if not self.concerns_this_process and stand in DRAINED_PHASES | {G.UNDOING}:
             return "back"
         what = {
             G.GRANTING: "ready",
@@ -918,7 +956,7 @@
             G.RETURNING: "whole",
             G.UNDOING: "resumed",
         }.get(stand, "")
-        return what if what and self._ready.get(what) and self.record["told"] != what else ""
+        return what if what and self._ready.get(what) and self.assignment["told"] != what else ""
 
     @property
     def due(self) -> float:
@@ -937,14 +975,14 @@
             self._out = (
                 ReportGateway(
                     id=id_,
-                    roll=self.record["roll"],
-                    gateway=self.me,
-                    round=self.record["round"],
-                    what=what,
+                    restart=self.assignment["roll"],
+                    gateway=self.gateway,
+                    gateway_version=self.assignment["round"],
+                    report=what,
                     process=self.process,
                 )
                 if what
-                else ReadDesiredState(id=id_, gateway=self.me)
+                else ReadDesiredState(id=id_, gateway=self.gateway)
             )
         self._under_way, self._asked = True, now
         return [self._out]
@@ -956,12 +994,13 @@
         self._under_way = False
         error = result if isinstance(result, ClusterError) else result.error
         if error is None and isinstance(result, ApplyResult):
-            before, self.record = self.record, result.value
+            before, self.assignment = self.assignment, result.value
             self._out, self._read = None, self._asked
-            if self.moved is not None and before.get("stand") != self.record.get("stand"):
-                self.moved()
+            if self.on_phase_change is not None and before.get("stand") != self.assignment.get("stand"):
+                self.on_phase_change()
             self._next = now + max(
-                self.record["read_ms"], 0.0 if self.record["roll"] else PER_MEMBER_MS * self.members
+                self.assignment["read_ms"],
+                0.0 if self.assignment["roll"] else POLL_INTERVAL_PER_MEMBER_MS * self.member_count,
             )
             return
         if isinstance(self._out, ReadDesiredState) or isinstance(
@@ -970,11 +1009,11 @@
             # a reading may as well be a new one; what was refused is not said again as it was
             self._out = None
             if isinstance(error, NotFound):
-                self.record = {}
-        self._next = now + READ_MS
+                self.assignment = {}
+        self._next = now + MIN_POLL_INTERVAL_MS
 
 
-def least_ms(
+def minimum_duration_ms(
     gateways: Iterable[str],
     groups: dict[str, tuple[str, ...]],
     halls: dict[str, str],
--- a/badgeryoke/cluster/unreported_usage.py
+++ b/badgeryoke/cluster/unreported_usage.py
@@ -20,14 +20,14 @@
 from badgeryoke.cluster.messages import MemberId
 from badgeryoke.cluster.state_machine.part import ApplyResult, Command, LeaderView
 
-MOST_BYTES = (
+MAX_UNREPORTED_BYTES = (
     24 * 1024 * 1024
 )  # of the batches in one group that are not told yet, a part of what a snapshot takes; more
-LEAST_BYTES = (
+MIN_BATCH_BYTES = (
     24 * 1024
 )  # are refused, and stay with their gateway.  A batch counts for so much: 1024 at the most
-MOST_LINES = 256
-LATE_MS = 60_000.0  # the counter forgets a name after so long: a batch older than this is of no use
+MAX_LINES = 256
+MAX_BATCH_AGE_MS = 60_000.0  # the counter forgets a name after so long: a batch older than this is of no use
 
 
 class UsageLine(msgspec.Struct, frozen=True, array_like=True):
@@ -42,15 +42,15 @@
     """`by` owes these; `id` names the batch."""
 
     tenant: str  # by which group it is kept
-    by: MemberId
+    debtor: MemberId = msgspec.field(name="by")
     lines: tuple[UsageLine, ...]
 
     def key(self) -> str:
         return f"t:{self.tenant}"
 
     def validate(self) -> str:
-        if not 0 < len(self.lines) <= MOST_LINES:
-            return f"lines: expected 1 to {MOST_LINES}"
+        if not 0 < len(self.lines) <= MAX_LINES:
+            return f"lines: expected 1 to {MAX_LINES}"
         return next(
             (
                 f"lines: {line.name!r}: amount or life is out of bounds"
@@ -66,7 +66,7 @@
 
     tenant: str
     batch: str
-    by: MemberId
+    reporter: MemberId = msgspec.field(name="by")
 
     def key(self) -> str:
         return f"t:{self.tenant}"
@@ -77,8 +77,8 @@
 
     tenant: str
     batch: str
-    by: MemberId
-    known: bool
+    reporter: MemberId = msgspec.field(name="by")
+    outcome_known: bool = msgspec.field(name="known")
 
     def key(self) -> str:
         return f"t:{self.tenant}"
@@ -99,7 +99,9 @@
 
 def _bytes(tenant: str, lines: tuple[UsageLine, ...]) -> int:
     """What a batch counts for; 512: its name and gateways."""
-    return max(512 + len(tenant.encode()) + sum(len(line.name.encode()) + 24 for line in lines), LEAST_BYTES)
+    return max(
+        512 + len(tenant.encode()) + sum(len(line.name.encode()) + 24 for line in lines), MIN_BATCH_BYTES
+    )
 
 
 class UnreportedUsage:
@@ -110,12 +112,12 @@
             str, tuple[float, str, MemberId, tuple[UsageLine, ...], MemberId]
         ] = {}  # since, tenant, by, lines, claimer
         self._held = 0  # bytes
-        self.unknown = 0.0  # units of which nobody knows whether the counter has them
+        self.unknown_units = 0.0  # units of which nobody knows whether the counter has them
 
     def apply(self, at_ms: float, command: Command) -> ApplyResult:
         """Take a batch in, give one out, or close one."""
         for name, batch in list(self._batches.items()):
-            if at_ms - batch[0] <= LATE_MS:
+            if at_ms - batch[0] <= MAX_BATCH_AGE_MS:
                 break  # they lie in the order of their coming
             self._close(name, False)
         match command:
@@ -124,12 +126,14 @@
                     # its answer was forgotten, the batch was not: a claim of it goes on
                     return ApplyResult(True)
                 more = _bytes(command.tenant, command.lines)
-                if self._held + more > MOST_BYTES:
+                if self._held + more > MAX_UNREPORTED_BYTES:
                     return ApplyResult(
-                        error=Overloaded(command.id, f"{MOST_BYTES} bytes of batches wait at the most")
+                        error=Overloaded(
+                            command.id, f"{MAX_UNREPORTED_BYTES} bytes of batches wait at the most"
+                        )
                     )
                 self._held += more
-                self._batches[command.id] = at_ms, command.tenant, command.by, command.lines, ""
+                self._batches[command.id] = at_ms, command.tenant, command.debtor, command.lines, ""
                 return ApplyResult(True)
             case ClaimUsage():
                 found = self._batches.get(command.batch)
@@ -137,13 +141,15 @@
                     return ApplyResult(error=NotFound(command.batch, "no such batch waits"))
                 if found[4]:
                     return ApplyResult(error=WrongState(command.batch, f"{found[4]} reports it"))
-                self._batches[command.batch] = (*found[:4], command.by)
+                self._batches[command.batch] = (*found[:4], command.reporter)
                 return ApplyResult([[line.name, line.units, line.expire_ms] for line in found[3]])
             case ConfirmUsageReported():
                 found = self._batches.get(command.batch)
-                if found is None or found[4] != command.by:
-                    return ApplyResult(error=NotFound(command.batch, f"{command.by} does not report it"))
-                self._close(command.batch, command.known)
+                if found is None or found[4] != command.reporter:
+                    return ApplyResult(
+                        error=NotFound(command.batch, f"{command.reporter} does not report it")
+                    )
+                self._close(command.batch, command.outcome_known)
                 return ApplyResult(True)
         return ApplyResult(error=InvalidCall(command.id, "not a call for what is owed"))
 
@@ -151,7 +157,7 @@
         batch = self._batches.pop(name)
         self._held -= _bytes(batch[1], batch[3])
         if not known:
-            self.unknown += sum(line.units for line in batch[3])
+            self.unknown_units += sum(line.units for line in batch[3])
 
     def query(self, command: ReadUnreportedUsage) -> ApplyResult:
         """Read what waits."""
@@ -163,7 +169,7 @@
         """A claimer that is dead for good: its batch is closed as unknown."""
         return [
             ConfirmUsageReported(
-                id=f"owed/{name}/lost", tenant=batch[1], batch=name, by=batch[4], known=False
+                id=f"owed/{name}/lost", tenant=batch[1], batch=name, reporter=batch[4], outcome_known=False
             )
             for name, batch in self._batches.items()
             if batch[4] and view.dead_for.get(batch[4], 0.0) >= view.timings.repair_after_ms
@@ -175,7 +181,7 @@
     def dump(self) -> Any:
         """Plain data."""
         return [
-            self.unknown,
+            self.unknown_units,
             [
                 [
                     name,
@@ -191,7 +197,7 @@
 
     def load(self, raw: Any) -> None:
         """From `dump`."""
-        self.unknown, batches = raw
+        self.unknown_units, batches = raw
         self._batches = {
             name: (since, tenant, by, tuple(UsageLine(*line) for line in lines), claimer)
             for name, since, tenant, by, lines, claimer in batches
--- a/badgeryoke/gateway/cluster/connection_leases.py
+++ b/badgeryoke/gateway/cluster/connection_leases.py
@@ -21,11 +21,11 @@
 from tornado.iostream import IOStream
 
 from badgeryoke.cluster.connection_limits import (
-    CLOSING_MS,
+    CLOSE_BEFORE_EXPIRY_MS,
     ConnectionLeaseHolder,
     RemoveConnectionLimit,
     SetConnectionLimit,
-    process,
+    holder_id,
 )
 from badgeryoke.cluster.errors import ClusterError
 from badgeryoke.cluster.invariants import Invariants
@@ -103,7 +103,7 @@
     def held(self) -> bool:
         """Whether connections may be used now."""
         keeper = self._pools.keeper
-        return keeper is not None and keeper.held(self._pools.now(), self.server)
+        return keeper is not None and keeper.lease_valid(self._pools.now(), self.server)
 
     def may_open(self) -> bool:
         """Whether one more may be dialled."""
@@ -166,7 +166,7 @@
         if not isinstance(node, ClusterNode):
             return
         boot = BOOT.read_text().strip() if BOOT.exists() else ""
-        me = process(node.me, boot, secrets.token_hex(6))
+        me = holder_id(node.me, boot, secrets.token_hex(6))
         self.keeper = ConnectionLeaseHolder(me, node.setup.timings, rules, self.now(), self.alone)
         self.rolled = RollingRestartAgent(node.setup.me, me, len(node.setup.members), self._look_soon)
         self._node = node
@@ -256,25 +256,25 @@
     def _wants(self, keeper: ConnectionLeaseHolder) -> None:
         for server, leases in self._leases.items():
             need = sum(one.link.need for one in leases if one.link is not None)
-            if need or server in keeper.pools:
-                keeper.want(server, need)
+            if need or server in keeper.servers:
+                keeper.set_need(server, need)
 
     def poll(self, now: float, wall: float) -> list[Command]:
         """See fleet.node.Holder."""
         assert self.keeper is not None
         self._wants(self.keeper)
         made = self.keeper.poll(now, wall)
-        for server in self.keeper.unknown:  # whoever leads its group has no list that names it
+        for server in self.keeper.servers_without_limit:  # whoever leads its group has no list that names it
             if most := self._limits.get(server):
                 made.append(
                     SetConnectionLimit(
-                        id=f"limit/{self.keeper.me}/{server}/{now:.0f}",
+                        id=f"limit/{self.keeper.holder}/{server}/{now:.0f}",
                         server=server,
-                        most=most,
-                        idle_ms=self.idle_ms,
+                        max_connections=most,
+                        idle_timeout_ms=self.idle_ms,
                     )
                 )
-        self.keeper.unknown.clear()
+        self.keeper.servers_without_limit.clear()
         if now >= self._sift_at and self._told:
             self._sift_at = now + SIFT_MS
             made += self._sift(now)
@@ -293,7 +293,7 @@
             if group == FLEET or not self._node.replicas[group].leading:
                 continue
             for server, one in state.parts["connections"].servers.items():
-                if server in self._limits or one.parts.held:
+                if server in self._limits or one.pool.held:
                     continue
                 missing[server] = self._missing.get(server, now)
                 if now - missing[server] >= GONE_MS and len(made) < MOST_GONE:
@@ -334,21 +334,21 @@
         if keeper is None or rolled is None or node is None:
             return
         now = self.now()
-        keeper.grow = rolled.grow
-        keeper.leaving = self.leaving or rolled.lead_nothing
-        node.lead_nothing = rolled.lead_nothing
+        keeper.need_multiple = rolled.need_multiple
+        keeper.draining = self.leaving or rolled.must_not_lead
+        node.lead_nothing = rolled.must_not_lead
         self._wants(keeper)
         self._close(keeper, now)
         replicas = [one for one in node.replicas.values() if one.me in one.config.voters]
-        rolled.tell(
-            leads=sum(one.leading for one in replicas),
-            trimmed=all(pool.open - pool.closing <= pool.need for pool in keeper.pools.values()),
+        rolled.observe(
+            groups_led=sum(one.leading for one in replicas),
+            trimmed=all(pool.open - pool.closing <= pool.need for pool in keeper.servers.values()),
             drained=self._gateway.drained,
             empty=not self._gateway.unanswered and keeper.empty,
-            whole=node.founding.record is not None and all(one.whole for one in replicas),
+            copies_complete=node.founding.record is not None and all(one.whole for one in replicas),
         )
-        for duty in rolled.duties(now):
-            log.info("roll %s: %s", rolled.record.get("roll"), duty.name.lower())
+        for duty in rolled.next_actions(now):
+            log.info("roll %s: %s", rolled.assignment.get("roll"), duty.name.lower())
             if duty is DesiredState.LEAVE:
                 self._gateway.end()
             elif said := self._gateway.pause() if duty is DesiredState.PAUSE else self._gateway.resume():
@@ -361,8 +361,8 @@
         for leases in self._leases.values():
             for lease in leases:
                 lease.surplus = 0
-        for server, over in keeper.must_close(now):
-            ends = not keeper.held(now + CLOSING_MS, server)
+        for server, over in keeper.excess(now):
+            ends = not keeper.lease_valid(now + CLOSE_BEFORE_EXPIRY_MS, server)
             for lease in self._leases.get(server, ()):
                 part = min(over, lease.open)
                 over -= part
--- a/badgeryoke/testbed/cluster_simulation/gateway.py
+++ b/badgeryoke/testbed/cluster_simulation/gateway.py
@@ -16,7 +16,7 @@
 from random import Random
 from typing import TYPE_CHECKING, Any
 
-from badgeryoke.cluster.connection_limits import ConnectionLeaseHolder, process
+from badgeryoke.cluster.connection_limits import ConnectionLeaseHolder, holder_id
 from badgeryoke.cluster.invariants import InvariantViolation
 from badgeryoke.cluster.messages import member_name
 from badgeryoke.cluster.reservations.contract import ContractTerms, ProposeContract, ReadContracts, Window
@@ -26,7 +26,7 @@
     ReadRollingRestarts,
     RollingRestartAgent,
     StartRollingRestart,
-    least_ms,
+    minimum_duration_ms,
 )
 from badgeryoke.cluster.state_machine.part import FLEET, ApplyResult
 from badgeryoke.testbed.checkers.contract_ledger import LEFT_OUT_MS, Book, least
@@ -146,11 +146,11 @@
             return []
         world = self.world
         self.away.discard(machine.name)
-        who = process(machine.id, f"b{machine.boot}", str(machine.life))
+        who = holder_id(machine.id, f"b{machine.boot}", str(machine.life))
         side = self.sides[machine.name] = Side(
             machine.life,
             ReservationClient(machine.id, str(machine.life), world.timings, machine.hall, world.plan.members),
-            ConnectionLeaseHolder(who, world.timings, world.rules, now, alone=True),
+            ConnectionLeaseHolder(who, world.timings, world.rules, now, only_process=True),
             RollingRestartAgent(machine.name, who),
         )
         side.floor.wake = partial(self._later, world.nudge, machine.name, side.life)
@@ -214,11 +214,11 @@
         for server in self.servers:
             need = 0 if drained else side.need[server]
             conns = [conn for conn in side.conns.get(server, ()) if conn.open_here]
-            keeper.want(server, need)
-            if keeper.held(now, server):
+            keeper.set_need(server, need)
+            if keeper.lease_valid(now, server):
                 for conn in conns[: max(need, 1)]:
                     conn.used = true
-            if keeper.leaving or drained:
+            if keeper.draining or drained:
                 for conn in conns[need:]:
                     self._close(side, conn)
             while len(conns) < need and keeper.may_open(now, server):
@@ -227,7 +227,7 @@
                 conns.append(conn)
                 side.conns.setdefault(server, []).append(conn)
                 self._later(self._reach, conn)
-        for server, many in keeper.must_close(now):
+        for server, many in keeper.excess(now):
             left = [conn for conn in side.conns.get(server, ()) if conn.open_here and not conn.ending]
             for conn in left[-many:]:
                 self._close(side, conn)
@@ -487,12 +487,12 @@
     def _ask_roll(self, text: RollText, tries: int) -> None:
         command = StartRollingRestart(
             id=f"lab/{text.name}",
-            roll=text.name,
+            restart=text.name,
             at_once=text.at_once,
             gateways=tuple(f"g{number}" for number in text.gateways),
             reason="laboratory",
             deadline_ms=10_000.0,
-            warm_ms=WARM_MS,
+            warm_up_ms=WARM_MS,
         )
         self.roll_states.setdefault(text.name, "not asked")
 
@@ -533,7 +533,9 @@
             if (config := world.config(group)) is not None
         }
         halls = {name: machine.hall for name, machine in world.machines.items()}
-        least = least_ms(names, groups, halls, text.at_once, 0.0, sum(self._waves) / len(self._waves))
+        least = minimum_duration_ms(
+            names, groups, halls, text.at_once, 0.0, sum(self._waves) / len(self._waves)
+        )
         self.roll_ratio = (self._calendar.now - self._asked_at[text.name]) / least
 
     def _schedulers(self) -> None:
@@ -550,7 +552,7 @@
             roll = node.states[FLEET].parts["rolls"].active
             if roll is None:
                 continue
-            stands = [one.stand.value for one in roll.gateways.values()]
+            stands = [one.phase.value for one in roll.gateways.values()]
             stand = next((one for one in self._kills.get(roll.name, ()) if one in stands), "")
             if stand:
                 self._kills[roll.name].remove(stand)
@@ -582,8 +584,8 @@
     def _roll(self, machine: Machine, side: Side, now: float) -> None:
         true, rolled, keeper, node = self._calendar.now, side.rolled, side.keeper, machine.node
         assert node is not None
-        keeper.grow, keeper.leaving = rolled.grow, rolled.lead_nothing
-        node.lead_nothing = rolled.lead_nothing
+        keeper.need_multiple, keeper.draining = rolled.need_multiple, rolled.must_not_lead
+        node.lead_nothing = rolled.must_not_lead
         groups = node.replicas.items()
         drained = rolled.paused and side.paused_at < true - FRONT_MS
         whole = all(
@@ -598,21 +600,21 @@
         empty = not side.flights and keeper.empty
         if drained and empty and not side.leaving:
             self._emptied.setdefault(machine.name, true - side.paused_at)
-        rolled.tell(
-            leads=sum(one.leading for _, one in groups),
-            trimmed=all(pool.open - pool.closing <= pool.need for pool in keeper.pools.values()),
+        rolled.observe(
+            groups_led=sum(one.leading for _, one in groups),
+            trimmed=all(pool.open - pool.closing <= pool.need for pool in keeper.servers.values()),
             drained=drained,
             empty=empty,
-            whole=whole,
+            copies_complete=whole,
         )
-        for duty in rolled.duties(now):
+        for duty in rolled.next_actions(now):
             if duty is DesiredState.PAUSE:
                 side.paused_at = true
             elif duty is DesiredState.RESUME:
                 side.paused_at = math.inf
             elif not side.leaving:
                 side.leaving = True
-                roll = str(rolled.record.get("roll"))
+                roll = str(rolled.assignment.get("roll"))
                 at = roll, machine.name
                 self.drained[at] = self.drained.get(at, 0) + 1
                 if self.drained[at] > 1:
--- a/badgeryoke/testbed/emulator/cluster.py
+++ b/badgeryoke/testbed/emulator/cluster.py
@@ -16,7 +16,7 @@
 from typing import Any
 
 from badgeryoke.cluster.placement.directory import copies_for, group_of
-from badgeryoke.cluster.rolling_restart.restart import least_ms
+from badgeryoke.cluster.rolling_restart.restart import minimum_duration_ms
 from badgeryoke.cluster.state_machine.part import FLEET
 from badgeryoke.testbed.checkers.contract_ledger import FEW, least
 from badgeryoke.testbed.checkers.contract_ledger import Book as ContractBook
@@ -257,7 +257,9 @@
         }
         halls = {f"g{me + 1}": str(me % self.scenario.halls) for me in range(self.scenario.gateways)}
         wave = sum(self._waves) / len(self._waves) if self._waves else 0.0
-        least = least_ms([f"g{number}" for number in text.gateways], groups, halls, text.at_once, 0.0, wave)
+        least = minimum_duration_ms(
+            [f"g{number}" for number in text.gateways], groups, halls, text.at_once, 0.0, wave
+        )
         self.rolls.append(
             {
                 "roll": text.name,
--- a/tests/cluster/test_behaviour_digests.py
+++ b/tests/cluster/test_behaviour_digests.py
@@ -11,15 +11,15 @@
 
 from badgeryoke.cluster.bootstrap import BootstrapRecord
 from badgeryoke.cluster.connection_limits import (
-    MOST_LIMIT,
+    MAX_LIMIT,
     ConnectionLeaseHolder,
     ConnectionLimits,
     ReleaseConnectionLeases,
     RemoveConnectionLimit,
     RequestConnectionLeases,
     SetConnectionLimit,
-    bucket,
-    process,
+    holder_id,
+    server_bucket,
 )
 from badgeryoke.cluster.connection_limits import ConnectionLeaseRequest as ConnAsk
 from badgeryoke.cluster.errors import NoLeader, StorageFailed, UnknownOutcome
@@ -124,7 +124,7 @@
     RollingRestarts,
     StartRollingRestart,
     StartWave,
-    least_ms,
+    minimum_duration_ms,
 )
 from badgeryoke.cluster.state_machine.machine import GroupStateMachine, command_from, encode
 from badgeryoke.cluster.state_machine.part import FLEET, Command, LeaderView
@@ -550,7 +550,7 @@
 WHO = tuple(f"m{at:03}/{at}" for at in range(6))
 GATEWAYS = tuple(f"m{at:03}" for at in range(6))
 HOLDERS = tuple(
-    process(who, boot, begun) for who in WHO[:3] for boot, begun in (("b1", "1"), ("b1", "2"), ("", "3"))
+    holder_id(who, boot, begun) for who in WHO[:3] for boot, begun in (("b1", "1"), ("b1", "2"), ("", "3"))
 )
 SERVERS = ("alpha", "beta", "gamma", "delta")
 FLOORS = tuple(f"c{at}" for at in range(6))
@@ -687,56 +687,56 @@
         if kind in (0, 1):
             return StartRollingRestart(
                 id=self.id(),
-                roll=roll,
+                restart=roll,
                 gateways=tuple(draw.sample(GATEWAYS, draw.randint(0, 3))),
-                hall=draw.choice(("", "", "", "a")),
+                zone=draw.choice(("", "", "", "a")),
                 reason="why",
                 at_once=draw.choice((1, 2, 0)),
                 deadline_ms=draw.choice((2000.0, 60_000.0, -1.0)),
-                act=draw.choice(("restart", "hold", "sing")),
-                warm_ms=500.0,
-                hall_may_go=draw.random() < 0.3,
+                after_drain=draw.choice(("restart", "hold", "sing")),
+                warm_up_ms=500.0,
+                may_empty_zone=draw.random() < 0.3,
             )
         if kind == 2:
-            return CancelRollingRestart(id=self.id(), roll=roll)
+            return CancelRollingRestart(id=self.id(), restart=roll)
         if kind == 3:
             return ResumeGateway(
-                id=self.id(), roll=roll, gateway=draw.choice(("", name)), force=draw.random() < 0.3
+                id=self.id(), restart=roll, gateway=draw.choice(("", name)), force=draw.random() < 0.3
             )
         if kind == 4:
             return RecordRestartEvent(
                 id=self.id(),
-                roll=roll,
-                stamp=draw.choice((self.stamp, self.stamp, 3)),
-                turn=draw.choice(list(RestartEvent)).name,
-                why="w",
+                restart=roll,
+                restart_version=draw.choice((self.stamp, self.stamp, 3)),
+                event=draw.choice(list(RestartEvent)).name,
+                cause="w",
                 order=GATEWAYS[:3],
-                members=6,
+                member_count=6,
             )
         if kind == 5:
             return StartWave(
                 id=self.id(),
-                roll=roll,
-                stamp=draw.choice((self.stamp, self.stamp, 3)),
+                restart=roll,
+                restart_version=draw.choice((self.stamp, self.stamp, 3)),
                 gateways=(name,),
-                facts=self.facts(),
+                conditions=self.facts(),
             )
         if kind in (6, 7):
             return RecordGatewayEvent(
                 id=self.id(),
-                roll=roll,
+                restart=roll,
                 gateway=name,
-                round=draw.randint(0, 2),
-                step=draw.choice(list(GatewayEvent)).name,
-                facts=draw.choice((None, self.facts())),
-                stamp=draw.choice((self.stamp, self.stamp, -1)),
+                gateway_version=draw.randint(0, 2),
+                event=draw.choice(list(GatewayEvent)).name,
+                conditions=draw.choice((None, self.facts())),
+                restart_version=draw.choice((self.stamp, self.stamp, -1)),
             )
         return ReportGateway(
             id=self.id(),
-            roll=roll,
+            restart=roll,
             gateway=name,
-            round=draw.randint(0, 2),
-            what=draw.choice((*REPORTS, "gone")),
+            gateway_version=draw.randint(0, 2),
+            report=draw.choice((*REPORTS, "gone")),
             process=draw.choice((name, f"{name}-2", "")),
         )
 
@@ -762,13 +762,13 @@
 
     def connection(self) -> Command:
         draw, server = self.draw, self.draw.choice(SERVERS)
-        kind, where = draw.randint(0, 9), bucket(server)
+        kind, where = draw.randint(0, 9), server_bucket(server)
         if kind == 0:
             return SetConnectionLimit(
                 id=self.id(),
                 server=server,
-                most=draw.choice((1, 10, 25, 40, 0, MOST_LIMIT + 1)),
-                idle_ms=draw.choice((3000.0, 500.0, -1.0)),
+                max_connections=draw.choice((1, 10, 25, 40, 0, MAX_LIMIT + 1)),
+                idle_timeout_ms=draw.choice((3000.0, 500.0, -1.0)),
             )
         if kind == 1 and draw.random() < 0.3:
             return RemoveConnectionLimit(id=self.id(), server=server)
@@ -778,17 +778,21 @@
                 id=self.id(),
                 holder=holder,
                 bucket=where,
-                ends=((server, self.number()),),
+                leases=((server, self.number()),),
                 proof=draw.choice(("idle", "reset", "guess")),
-                by=draw.choice(HOLDERS),
+                reported_by=draw.choice(HOLDERS),
             )
         asks = tuple(
             ConnAsk(one, self.number(), draw.randint(0, 12), draw.randint(0, 30))
             for one in SERVERS
-            if bucket(one) == where or draw.random() < 0.02
+            if server_bucket(one) == where or draw.random() < 0.02
         )
         return RequestConnectionLeases(
-            id=self.id(), holder=draw.choice(HOLDERS), bucket=where, asks=asks, fresh=draw.random() < 0.2
+            id=self.id(),
+            holder=draw.choice(HOLDERS),
+            bucket=where,
+            requests=asks,
+            first_request=draw.random() < 0.2,
         )
 
     def tenant(self) -> Command:
@@ -839,11 +843,17 @@
             )
         if kind == 13:
             lines = tuple(UsageLine(f"n{at}", self.figure(9.0), 1000.0) for at in range(draw.randint(0, 3)))
-            return RecordUsage(id=batch, tenant=draw.choice(("ta", "tb")), by=draw.choice(WHO), lines=lines)
+            return RecordUsage(
+                id=batch, tenant=draw.choice(("ta", "tb")), debtor=draw.choice(WHO), lines=lines
+            )
         if kind == 14:
-            return ClaimUsage(id=self.id(), tenant="ta", batch=batch, by=draw.choice(WHO))
+            return ClaimUsage(id=self.id(), tenant="ta", batch=batch, reporter=draw.choice(WHO))
         return ConfirmUsageReported(
-            id=self.id(), tenant="ta", batch=batch, by=draw.choice(WHO), known=draw.random() < 0.5
+            id=self.id(),
+            tenant="ta",
+            batch=batch,
+            reporter=draw.choice(WHO),
+            outcome_known=draw.random() < 0.5,
         )
 
 
@@ -936,7 +946,7 @@
         calls.at, applier.now = calls.at + passed, applier.now + passed
         rolls = applier.state.parts.get("rolls")
         if isinstance(rolls, RollingRestarts) and rolls.active is not None:
-            calls.stamp = rolls.active.changes
+            calls.stamp = rolls.active.version
         result = applier.apply(calls.at, calls.fleet() if group == FLEET else calls.tenant())
         value = result.value
         if isinstance(value, dict):
@@ -1200,9 +1210,9 @@
     for server in SERVERS:
         need = draw.choice((0, 2, 5, 12)) if draw.random() < 0.1 else -1
         if need >= 0:
-            keeper.want(server, need)
+            keeper.set_need(server, need)
         may = keeper.may_open(now, server)
-        digest.add((server, may, keeper.held(now, server)))
+        digest.add((server, may, keeper.lease_valid(now, server)))
         if may and draw.random() < 0.6:
             keeper.opened(now, server)
             is_open[server] = is_open.get(server, 0) + 1
@@ -1210,7 +1220,7 @@
             keeper.closing(server)
             keeper.closed(server, begun=True)
             is_open[server] -= 1
-    must = keeper.must_close(now)
+    must = keeper.excess(now)
     digest.add(must)
     for server, count in must:
         for _ in range(count):
@@ -1225,11 +1235,17 @@
     digest = Digest()
     clients = Clients(100 + seed, digest)
     draw, rules = clients.draw, Invariants(strict=False)
-    keepers = [ConnectionLeaseHolder(process(who, "b1", "1"), TIMINGS, rules, clients.now) for who in WHO[:4]]
+    keepers = [
+        ConnectionLeaseHolder(holder_id(who, "b1", "1"), TIMINGS, rules, clients.now) for who in WHO[:4]
+    ]
     opened: list[dict[str, int]] = [{} for _ in keepers]
     clients.holders += keepers
     for at, server in enumerate(SERVERS[:3]):
-        clients.apply(SetConnectionLimit(id=f"l{at}", server=server, most=12 + 7 * at, idle_ms=3000.0))
+        clients.apply(
+            SetConnectionLimit(
+                id=f"l{at}", server=server, max_connections=12 + 7 * at, idle_timeout_ms=3000.0
+            )
+        )
     for step in range(700):
         for keeper, is_open in zip(keepers, opened, strict=True):
             connections_step(draw, clients.now, keeper, is_open, digest)
@@ -1239,29 +1255,32 @@
         if step % 120 == 60:
             clients.apply(
                 SetConnectionLimit(
-                    id=f"m{step}", server=draw.choice(SERVERS[:3]), most=draw.randint(6, 30), idle_ms=2000.0
+                    id=f"m{step}",
+                    server=draw.choice(SERVERS[:3]),
+                    max_connections=draw.randint(6, 30),
+                    idle_timeout_ms=2000.0,
                 )
             )
         if step % 150 == 149:
             again = draw.randrange(4)
             keepers[again] = ConnectionLeaseHolder(
-                process(WHO[again], draw.choice(("b1", "b2")), str(step)),
+                holder_id(WHO[again], draw.choice(("b1", "b2")), str(step)),
                 TIMINGS,
                 rules,
                 clients.now,
-                alone=True,
+                only_process=True,
             )
-            keepers[again].grow = draw.choice((1.0, 1.5))
+            keepers[again].need_multiple = draw.choice((1.0, 1.5))
             clients.holders[again], opened[again] = keepers[again], {}
         if step == 500:
-            keepers[0].leaving = True
+            keepers[0].draining = True
             clients.apply(RemoveConnectionLimit(id="un", server=SERVERS[0]))
         if step % 70 == 69:
             connections = clients.states["g0"].state.parts["connections"]
             assert isinstance(connections, ConnectionLimits)
-            digest.add(connections.told())
+            digest.add(connections.summary())
             clients.states["g0"].look()
-    digest.add([list(keeper.unknown) for keeper in keepers])
+    digest.add([list(keeper.servers_without_limit) for keeper in keepers])
     check(f"connections-{seed}", digest)
 
 
@@ -1275,42 +1294,52 @@
     clients.apply(
         StartRollingRestart(
             id="ask",
-            roll="r",
+            restart="r",
             gateways=() if seed % 2 else GATEWAYS[:4],
             at_once=1 + seed % 3,
-            act="hold" if seed % 4 == 2 else "restart",
-            warm_ms=400.0,
-            hall_may_go=seed == 5,
+            after_drain="hold" if seed % 4 == 2 else "restart",
+            warm_up_ms=400.0,
+            may_empty_zone=seed == 5,
             deadline_ms=3000.0,
         )
     )
     for step in range(900):
         for at, side in enumerate(sides):
             drained = side.paused
-            side.tell(
-                leads=0 if draw.random() < 0.8 else 1,
+            side.observe(
+                groups_led=0 if draw.random() < 0.8 else 1,
                 trimmed=draw.random() < 0.8,
                 drained=drained,
                 empty=draw.random() < 0.6 and seed != 6,
-                whole=draw.random() < 0.7,
+                copies_complete=draw.random() < 0.7,
+            )
+            duties = side.next_actions(clients.now)
+            digest.add(
+                (
+                    duties,
+                    side.phase,
+                    side.concerns_this_process,
+                    side.must_not_lead,
+                    side.need_multiple,
+                    side.due,
+                    len(moved),
+                )
             )
-            duties = side.duties(clients.now)
-            digest.add((duties, side.stand, side.mine, side.lead_nothing, side.grow, side.due, len(moved)))
             if duties and draw.random() < 0.3:
                 sides[at] = clients.holders[at] = RollingRestartAgent(
-                    side.me, f"{side.me}-{step}", 6, lambda: moved.append(1)
+                    side.gateway, f"{side.gateway}-{step}", 6, lambda: moved.append(1)
                 )
-            elif side.stand in (GatewayPhase.PAUSING, GatewayPhase.EMPTYING):
+            elif side.phase in (GatewayPhase.PAUSING, GatewayPhase.EMPTYING):
                 side.paused = True
-            elif side.stand is None or side.stand in (GatewayPhase.RETURNING, GatewayPhase.UNDOING):
+            elif side.phase is None or side.phase in (GatewayPhase.RETURNING, GatewayPhase.UNDOING):
                 side.paused = False
         clients.go(draw.choice((20.0, 60.0, 150.0)))
         if step % 3 == 0:
             clients.work()
         if step == 400 and seed in (2, 6):
-            clients.apply(ResumeGateway(id="res", roll="r", force=True))
+            clients.apply(ResumeGateway(id="res", restart="r", force=True))
         if step == (150 if seed == 3 else 800):
-            clients.apply(CancelRollingRestart(id="can", roll="r"))
+            clients.apply(CancelRollingRestart(id="can", restart="r"))
         if step % 90 == 89:
             clients.states[FLEET].look()
     check(f"rolls-{seed}", digest)
@@ -1322,7 +1351,9 @@
         groups = {f"g{at}": tuple(draw.sample(GATEWAYS, 3)) for at in range(4)}
         halls = {name: draw.choice("ab") for name in GATEWAYS}
         digest.add(
-            least_ms(draw.sample(GATEWAYS, 4), groups, halls, draw.randint(1, 4), draw.random(), 1000.0)
+            minimum_duration_ms(
+                draw.sample(GATEWAYS, 4), groups, halls, draw.randint(1, 4), draw.random(), 1000.0
+            )
         )
     check("least-roll", digest)
 
@@ -1440,7 +1471,7 @@
 def test_waves_of_a_roll_that_a_leader_may_not_begin() -> None:
     digest, good = Digest(), ClusterConditions(0, 1, 0, -1.0, 10.0)
     applier = Applier(FLEET, digest)
-    applier.apply(START, StartRollingRestart(id="ask", roll="r", gateways=GATEWAYS[:4], at_once=2))
+    applier.apply(START, StartRollingRestart(id="ask", restart="r", gateways=GATEWAYS[:4], at_once=2))
     rolls = applier.state.parts["rolls"]
     assert isinstance(rolls, RollingRestarts) and rolls.active is not None
     for turn, order in (
@@ -1452,11 +1483,11 @@
             START,
             RecordRestartEvent(
                 id=f"{turn.name}{len(order)}",
-                roll="r",
-                stamp=rolls.active.changes,
-                turn=turn.name,
+                restart="r",
+                restart_version=rolls.active.version,
+                event=turn.name,
                 order=order,
-                members=6,
+                member_count=6,
             ),
         )
     waves = [(GATEWAYS[:3], good), (("nobody",), good), ((), good), (GATEWAYS[:2], good)]
@@ -1475,10 +1506,10 @@
                 START + at,
                 StartWave(
                     id=f"w{at}/{behind}",
-                    roll="r",
+                    restart="r",
                     gateways=gateways,
-                    facts=facts,
-                    stamp=rolls.active.changes - behind,
+                    conditions=facts,
+                    restart_version=rolls.active.version - behind,
                 ),
             )
     applier.look()
@@ -1487,10 +1518,12 @@
 
 def test_connections_are_closed_ahead_of_a_lease_that_is_not_renewed() -> None:
     digest, clients = Digest(), Clients(300, Digest())
-    keeper = ConnectionLeaseHolder(process(WHO[0], "b1", "1"), TIMINGS, Invariants(strict=False), clients.now)
+    keeper = ConnectionLeaseHolder(
+        holder_id(WHO[0], "b1", "1"), TIMINGS, Invariants(strict=False), clients.now
+    )
     server, now, before = SERVERS[0], clients.now, (False, False, 0)
-    clients.apply(SetConnectionLimit(id="l", server=server, most=9, idle_ms=3000.0))
-    keeper.want(server, 3)
+    clients.apply(SetConnectionLimit(id="l", server=server, max_connections=9, idle_timeout_ms=3000.0))
+    keeper.set_need(server, 3)
     for step in range(60_000):
         now += 0.5
         if step < 4000:
@@ -1500,8 +1533,8 @@
                 keeper.opened(now, server)
         found = (
             keeper.may_open(now, server),
-            keeper.held(now, server),
-            sum(n for _, n in keeper.must_close(now)),
+            keeper.lease_valid(now, server),
+            sum(n for _, n in keeper.excess(now)),
         )
         if found != before:
             digest.add((now, found))
--- a/tests/cluster/test_regressions.py
+++ b/tests/cluster/test_regressions.py
@@ -23,17 +23,17 @@
 from badgeryoke.cluster import node as fleet_node
 from badgeryoke.cluster.bootstrap import Bootstrap, BootstrapRecord
 from badgeryoke.cluster.connection_limits import (
-    CLOSING_MS,
-    LEASES,
-    OVER,
-    RESET_MS,
+    CLOSE_BEFORE_EXPIRY_MS,
+    KERNEL_RESET_MS,
+    LEASE_EXPIRED,
+    LEASE_MULTIPLE,
     ConnectionLeaseHolder,
     ConnectionLimits,
     ReleaseConnectionLeases,
     RemoveConnectionLimit,
     RequestConnectionLeases,
     SetConnectionLimit,
-    bucket,
+    server_bucket,
 )
 from badgeryoke.cluster.errors import (
     BadFrame,
@@ -122,8 +122,8 @@
 )
 from badgeryoke.cluster.reservations.lease_client import ReservationClient
 from badgeryoke.cluster.rolling_restart.restart import (
-    FRESH_MS,
-    GRANT_MS,
+    GROWTH_MARGIN_MS,
+    MAX_ASSIGNMENT_AGE_MS,
     CancelRollingRestart,
     ClusterConditions,
     DesiredState,
@@ -619,19 +619,24 @@
         return made.apply(
             at_ms,
             unreported_usage.RecordUsage(
-                id=id_, tenant="t", by="a/1", lines=(unreported_usage.UsageLine("n", 3.0, 1000.0),)
+                id=id_, tenant="t", debtor="a/1", lines=(unreported_usage.UsageLine("n", 3.0, 1000.0),)
             ),
         )
 
     def claim(batch: str, by: str) -> ApplyResult:
-        return made.apply(1.0, unreported_usage.ClaimUsage(id=f"{batch}{by}", tenant="t", batch=batch, by=by))
+        return made.apply(
+            1.0, unreported_usage.ClaimUsage(id=f"{batch}{by}", tenant="t", batch=batch, reporter=by)
+        )
 
     def told(batch: str, by: str, known: bool) -> ApplyResult:
         return made.apply(
-            2.0, unreported_usage.ConfirmUsageReported(id="t", tenant="t", batch=batch, by=by, known=known)
+            2.0,
+            unreported_usage.ConfirmUsageReported(
+                id="t", tenant="t", batch=batch, reporter=by, outcome_known=known
+            ),
         )
 
-    monkeypatch.setattr(unreported_usage, "MOST_BYTES", 2 * unreported_usage.LEAST_BYTES)
+    monkeypatch.setattr(unreported_usage, "MAX_UNREPORTED_BYTES", 2 * unreported_usage.MIN_BATCH_BYTES)
     made = unreported_usage.UnreportedUsage()
     assert owe("1").error is None and owe("2").error is None and isinstance(owe("3").error, Overloaded)
     assert claim("1", "b/1").value == [["n", 3.0, 1000.0]]
@@ -643,10 +648,10 @@
     assert isinstance(claim("1", "c/1").error, WrongState) and isinstance(
         told("1", "c/1", True).error, NotFound
     )
-    assert told("1", "b/1", True).value and made.unknown == 0.0
-    assert claim("2", "b/1").value and told("2", "b/1", False).value and made.unknown == 3.0
-    assert owe("4").error is None and owe("5", unreported_usage.LATE_MS + 1.0).error is None
-    assert made.unknown == 6.0 and made.query(
+    assert told("1", "b/1", True).value and made.unknown_units == 0.0
+    assert claim("2", "b/1").value and told("2", "b/1", False).value and made.unknown_units == 3.0
+    assert owe("4").error is None and owe("5", unreported_usage.MAX_BATCH_AGE_MS + 1.0).error is None
+    assert made.unknown_units == 6.0 and made.query(
         unreported_usage.ReadUnreportedUsage(id="r", tenant="t")
     ).value == ["5"]
 
@@ -990,56 +995,71 @@
 def rolling(**ask: Any) -> RollingRestarts:
     """A roll over three gateways, planned; it has changed twice."""
     made = RollingRestarts(Invariants())
-    given = {"id": "1", "roll": "r", "warm_ms": 50.0, **ask}
+    given = {"id": "1", "restart": "r", "warm_up_ms": 50.0, **ask}
     for command in (
         StartRollingRestart(**given),
-        RecordRestartEvent(id="2", roll="r", stamp=0, turn="SEEN"),
-        RecordRestartEvent(id="3", roll="r", stamp=1, turn="PLANNED", order=("a", "b", "c"), members=3),
+        RecordRestartEvent(id="2", restart="r", restart_version=0, event="SEEN"),
+        RecordRestartEvent(
+            id="3", restart="r", restart_version=1, event="PLANNED", order=("a", "b", "c"), member_count=3
+        ),
     ):
         assert made.apply(0.0, command).error is None
     return made
 
 
 def wave(made: RollingRestarts, *names: str, stamp: int = -1, facts: ClusterConditions = WELL) -> ApplyResult:
-    at = made.rolls["r"].changes if stamp < 0 else stamp
-    return made.apply(1.0, StartWave(id="w", roll="r", stamp=at, gateways=names, facts=facts))
+    at = made.restarts["r"].version if stamp < 0 else stamp
+    return made.apply(
+        1.0, StartWave(id="w", restart="r", restart_version=at, gateways=names, conditions=facts)
+    )
 
 
 def step(
     made: RollingRestarts, name: str, what: str, round_: int = -1, facts: ClusterConditions | None = WELL
 ) -> ApplyResult:
-    at = made.rolls["r"].gateways[name].round if round_ < 0 else round_
+    at = made.restarts["r"].gateways[name].version if round_ < 0 else round_
     return made.apply(
         2.0,
         RecordGatewayEvent(
-            id="s", roll="r", gateway=name, round=at, step=what, facts=facts, stamp=made.rolls["r"].changes
+            id="s",
+            restart="r",
+            gateway=name,
+            gateway_version=at,
+            event=what,
+            conditions=facts,
+            restart_version=made.restarts["r"].version,
         ),
     )
 
 
 def report(made: RollingRestarts, name: str, what: str, process: str = "p1", round_: int = -1) -> ApplyResult:
-    at = made.rolls["r"].gateways[name].round if round_ < 0 else round_
+    at = made.restarts["r"].gateways[name].version if round_ < 0 else round_
     return made.apply(
-        3.0, ReportGateway(id="t", roll="r", gateway=name, round=at, what=what, process=process)
+        3.0,
+        ReportGateway(id="t", restart="r", gateway=name, gateway_version=at, report=what, process=process),
     )
 
 
 def stands(made: RollingRestarts) -> str:
-    return " ".join(one.stand.value for one in made.rolls["r"].gateways.values())
+    return " ".join(one.phase.value for one in made.restarts["r"].gateways.values())
 
 
 def test_a_roll_takes_each_step_once_and_from_where_it_stands() -> None:
     made = rolling()
     assert wave(made, "a", stamp=1).error is not None  # seen before it was planned
-    turned = made.apply(1.0, RecordRestartEvent(id="4", roll="r", stamp=1, turn="BLOCKED", why="old"))
-    assert turned.error is not None and made.rolls["r"].state is RollState.RUNNING
-    assert made.apply(1.0, StartRollingRestart(id="5", roll="other")).error is not None  # one roll at a time
+    turned = made.apply(
+        1.0, RecordRestartEvent(id="4", restart="r", restart_version=1, event="BLOCKED", cause="old")
+    )
+    assert turned.error is not None and made.restarts["r"].state is RollState.RUNNING
+    assert (
+        made.apply(1.0, StartRollingRestart(id="5", restart="other")).error is not None
+    )  # one roll at a time
     assert wave(made, "a", "b").error is not None  # more than at once
     assert wave(made, "a").error is None and wave(made, "b").error is not None  # beside the one before
     assert step(made, "a", "ROOMY").error is not None  # it has not said that it is ready
     assert step(made, "b", "WARM").error is not None and step(made, "a", "PAUSED").error is not None
     report(made, "a", "ready", round_=0)
-    assert made.rolls["r"].gateways["a"].told == ""  # of a round before
+    assert made.restarts["r"].gateways["a"].report == ""  # of a round before
     report(made, "a", "ready")
     assert step(made, "a", "ROOMY", round_=0).error is not None
     assert step(made, "a", "ROOMY").error is None and stands(made) == "pausing waiting waiting"
@@ -1067,8 +1087,8 @@
     assert stands(again) == "returning waiting waiting"  # its copies come next
     assert step(again, "a", "LOST").error is not None  # it is waited for
     report(again, "a", "whole", "p2")
-    assert stands(again) == "warming waiting waiting" and again.rolls["r"].gateways["a"].drains == 1
-    assert again.apply(4.0, CancelRollingRestart(id="6", roll="r")).error is None
+    assert stands(again) == "warming waiting waiting" and again.restarts["r"].gateways["a"].drain_count == 1
+    assert again.apply(4.0, CancelRollingRestart(id="6", restart="r")).error is None
     assert stands(again) == "warming undone undone"
 
 
@@ -1083,15 +1103,15 @@
         **more,
     }
     view = LeaderView(now=0.0, wall=0.0, me="d/1", lead_since=0.0, timings=Timings(), dead_for={}, **given)
-    return made.count(view, made.rolls["r"], wave)
+    return made.observe_conditions(view, made.restarts["r"], wave)
 
 
 def test_what_a_wave_leaves_is_counted() -> None:
     assert counted(("b",)) == ClusterConditions(0, 0, 0, -1.0, 0.0)
-    assert counted(("a",)).halls == 1  # the only one of its hall
-    assert counted(("b", "c")).spare == -1
-    assert counted(("b",), alive=frozenset({"a/1", "b/1", "d/1"})).missing == 1
-    assert counted(("b",), behind={"g0": ("c/1",)}).missing == 1
+    assert counted(("a",)).emptied_zones == 1  # the only one of its hall
+    assert counted(("b", "c")).spare_voters == -1
+    assert counted(("b",), alive=frozenset({"a/1", "b/1", "d/1"})).missing_copies == 1
+    assert counted(("b",), behind={"g0": ("c/1",)}).missing_copies == 1
     assert counted(("b",), load={"capacity": 100.0, "demand": 20.0, "promised": 5.0}) == ClusterConditions(
         0, 0, 0, 75.0, 25.0
     )
@@ -1119,7 +1139,7 @@
     assert looked(made, 2.0) == []  # one wave at a time
     for name in ("a", "b"):
         report(made, name, "ready")
-    ready = 3.0 + GRANT_MS + made.rolls["r"].reading_ms()
+    ready = 3.0 + GROWTH_MARGIN_MS + made.restarts["r"].poll_interval_ms()
     assert looked(made, ready - 5.0) == []
     assert [one.gateway for one in looked(made, ready + 5.0)] == ["a"]  # the others have grown; one at a time
     for name in ("a", "b"):
@@ -1130,11 +1150,11 @@
         for what in ("back", "whole"):
             report(made, name, what, "p2")
     assert stands(made) == "warming warming waiting"
-    assert looked(made, 50.0) == [] and [one.step for one in looked(made, 54.0)] == ["WARM", "WARM"]
+    assert looked(made, 50.0) == [] and [one.event for one in looked(made, 54.0)] == ["WARM", "WARM"]
     made = rolling()
     assert wave(made, "b").error is None
     alive = frozenset({"a/1", "c/1", "d/1"})
-    assert [one.why for one in looked(made, 2.0, alive=alive, dead_for={"b/1": 0.0})] == [
+    assert [one.cause for one in looked(made, 2.0, alive=alive, dead_for={"b/1": 0.0})] == [
         "b is dead while granting"
     ]  # at once; who left in order is not dead
     assert looked(made, 2.0, alive=alive) == []
@@ -1161,11 +1181,12 @@
         )
         return rolled
 
-    assert read("p1", 0.0).duties(FRESH_MS + 1.0) == []  # what it knows may be over
+    assert read("p1", 0.0).next_actions(MAX_ASSIGNMENT_AGE_MS + 1.0) == []  # what it knows may be over
     assert (
-        read("p1", 0.0).duties(FRESH_MS - 1.0) == [DesiredState.PAUSE] and read("p2", 0.0).duties(1.0) == []
+        read("p1", 0.0).next_actions(MAX_ASSIGNMENT_AGE_MS - 1.0) == [DesiredState.PAUSE]
+        and read("p2", 0.0).next_actions(1.0) == []
     )
-    assert read("p1", 0.0).lead_nothing and not read("p2", 0.0).lead_nothing
+    assert read("p1", 0.0).must_not_lead and not read("p2", 0.0).must_not_lead
 
 
 # Connections
@@ -1174,13 +1195,18 @@
 
 def limited(most: int = 10) -> ConnectionLimits:
     made = ConnectionLimits(Invariants(), Timings())
-    assert made.apply(0.0, SetConnectionLimit(id="l", server="s", most=most, idle_ms=5000.0)).error is None
+    assert (
+        made.apply(
+            0.0, SetConnectionLimit(id="l", server="s", max_connections=most, idle_timeout_ms=5000.0)
+        ).error
+        is None
+    )
     return made
 
 
 def keeper(begun: float = 0.0, number: int = 1, alone: bool = True) -> ConnectionLeaseHolder:
     made = ConnectionLeaseHolder(f"a/1#boot.{number}", Timings(), Invariants(), begun, alone)
-    made.want("s", 4)
+    made.set_need("s", 4)
     return made
 
 
@@ -1194,28 +1220,34 @@
 
 
 def test_a_lease_on_connections_counts_from_before_it_was_asked_for() -> None:
-    made, life = keeper(), Timings().lease_ms * LEASES
+    made, life = keeper(), Timings().lease_ms * LEASE_MULTIPLE
     leased(made, limited(), 0.0, 1000.0)
-    assert made.held(life - 1.0, "s") and not made.held(life, "s")
-    assert made.may_open(life - CLOSING_MS - 1.0, "s") and not made.may_open(life - CLOSING_MS, "s")
+    assert made.lease_valid(life - 1.0, "s") and not made.lease_valid(life, "s")
+    assert made.may_open(life - CLOSE_BEFORE_EXPIRY_MS - 1.0, "s") and not made.may_open(
+        life - CLOSE_BEFORE_EXPIRY_MS, "s"
+    )
     made.opened(1000.0, "s")
-    assert made.must_close(life - CLOSING_MS) == [("s", 1)] and not made.must_close(life - CLOSING_MS - 1.0)
+    assert made.excess(life - CLOSE_BEFORE_EXPIRY_MS) == [("s", 1)] and not made.excess(
+        life - CLOSE_BEFORE_EXPIRY_MS - 1.0
+    )
 
 
 def test_a_lost_holders_connections_wait_for_lease_and_idle_time_by_the_slowest_clock() -> None:
     times = Timings()
-    both = times.lease_ms * LEASES + 5000.0
-    assert limited().patience(5000.0) >= both * (1.0 + times.clock_drift) / (1.0 - times.clock_drift)
+    both = times.lease_ms * LEASE_MULTIPLE + 5000.0
+    assert limited().expiry_after_ms(5000.0) >= both * (1.0 + times.clock_drift) / (1.0 - times.clock_drift)
 
 
 def test_what_is_not_known_is_asked_again_as_it_was() -> None:
     made = keeper()
     command = made.poll(0.0, 0.0)[0]
     made.answered(10.0, command, UnknownOutcome("g0", "no answer"))
-    made.want("s", 9)
+    made.set_need("s", 9)
     assert made.poll(5000.0, 0.0) == [command]
     made.answered(5000.0, command, limited().apply(0.0, command))
-    assert made.pools["s"].ends == Timings().lease_ms * LEASES  # from when it was made first
+    assert (
+        made.servers["s"].lease_expires_ms == Timings().lease_ms * LEASE_MULTIPLE
+    )  # from when it was made first
 
 
 def test_a_part_goes_back_without_the_connections_that_are_open() -> None:
@@ -1224,25 +1256,25 @@
     for _ in range(3):
         made.opened(1.0, "s")
     assert not made.empty
-    made.want("s", 0)
-    made.leaving = True
-    asked = leased(made, part, 4000.0, 4000.0).asks[0]
-    assert asked.keep == 3 and part.servers["s"].parts.granted() >= 3.0
+    made.set_need("s", 0)
+    made.draining = True
+    asked = leased(made, part, 4000.0, 4000.0).requests[0]
+    assert asked.keep == 3 and part.servers["s"].pool.granted() >= 3.0
     for _ in range(2):
         made.closing("s")
         made.closed("s", begun=True)
     made.closing("s")
     made.closed("s")  # its end came by itself, while it was being closed
-    assert made.pools["s"].open == made.pools["s"].closing == 0
+    assert made.servers["s"].open == made.servers["s"].closing == 0
     assert not made.empty  # it holds a lease yet
     leased(made, part, 8000.0, 8000.0)
-    assert made.empty and part.servers["s"].parts.granted() == 0.0
+    assert made.empty and part.servers["s"].pool.granted() == 0.0
 
 
 @pytest.mark.parametrize(
     ("row", "may", "over"),
     [
-        (["s", OVER, 0, 0, 0], False, 2),  # the lease is over: nothing may be open
+        (["s", LEASE_EXPIRED, 0, 0, 0], False, 2),  # the lease is over: nothing may be open
         (["s", 5, 6, 2, 0], False, 0),  # above its aim it opens no more
         (["s", 5, 6, 1, 0], False, 1),
         (["s", 5, 6, 3, 0], True, 0),
@@ -1255,25 +1287,30 @@
         made.opened(1.0, "s")
     command = made.poll(4000.0, 0.0)[0]
     made.answered(4000.0, command, ApplyResult({"parts": [row], "old": []}))
-    assert made.may_open(4001.0, "s") is may and sum(count for _, count in made.must_close(4001.0)) == over
+    assert made.may_open(4001.0, "s") is may and sum(count for _, count in made.excess(4001.0)) == over
 
 
 def test_a_process_vouches_for_the_one_before_alone_and_not_at_once() -> None:
     part = limited()
     leased(keeper(), part)
     for sole, at, ends in (
-        (True, RESET_MS - 1.0, False),
-        (True, RESET_MS, True),
-        (False, 2.0 * RESET_MS, False),
+        (True, KERNEL_RESET_MS - 1.0, False),
+        (True, KERNEL_RESET_MS, True),
+        (False, 2.0 * KERNEL_RESET_MS, False),
     ):
         made = keeper(0.0, 2, sole)
         leased(made, again(part), 1.0, 2.0)
-        made.want("s", 0)
+        made.set_need("s", 0)
         assert any(isinstance(one, ReleaseConnectionLeases) for one in made.poll(at, 0.0)) is ends
     elsewhere = ReleaseConnectionLeases(
-        id="e", holder="a/1#boot.1", bucket=bucket("s"), ends=(("s", 1),), proof="reset", by="a/1#reboot.2"
+        id="e",
+        holder="a/1#boot.1",
+        bucket=server_bucket("s"),
+        leases=(("s", 1),),
+        proof="reset",
+        reported_by="a/1#reboot.2",
     )
-    assert part.apply(0.0, elsewhere).error is not None and part.servers["s"].parts.granted() > 0.0
+    assert part.apply(0.0, elsewhere).error is not None and part.servers["s"].pool.granted() > 0.0
 
 
 def again(part: ConnectionLimits) -> ConnectionLimits:
@@ -1287,15 +1324,20 @@
 def test_limits_change_without_forgetting_what_is_granted() -> None:
     part = limited()
     leased(keeper(), part)
-    granted = part.servers["s"].parts.granted()
-    assert part.apply(0.0, SetConnectionLimit(id="m", server="s", most=1, idle_ms=5000.0)).error is None
-    assert part.servers["s"].parts.granted() == granted > 1.0
+    granted = part.servers["s"].pool.granted()
+    assert (
+        part.apply(
+            0.0, SetConnectionLimit(id="m", server="s", max_connections=1, idle_timeout_ms=5000.0)
+        ).error
+        is None
+    )
+    assert part.servers["s"].pool.granted() == granted > 1.0
     other = ConnectionLeaseHolder("b/1#x.1", Timings(), Invariants(), 0.0)
-    other.want("s", 4)
+    other.set_need("s", 4)
     leased(other, part)
-    assert part.servers["s"].parts.granted() == granted
+    assert part.servers["s"].pool.granted() == granted
     part.apply(0.0, RemoveConnectionLimit(id="u", server="s"))
-    assert part.servers["s"].parts.granted() == granted  # it is known until all of it has come back
+    assert part.servers["s"].pool.granted() == granted  # it is known until all of it has come back
 
 
 # Contracts
@@ -1677,10 +1719,10 @@
     return unreported_usage.RecordUsage(
         id=f"{number:0128}",
         tenant="t",
-        by="a/00000000",
+        debtor="a/00000000",
         lines=tuple(
             unreported_usage.UsageLine("\U0001f600" * 60 + f"{at:04}", 1.5, 60_000.0)
-            for at in range(unreported_usage.MOST_LINES)
+            for at in range(unreported_usage.MAX_LINES)
         ),
     )
 
@@ -1689,10 +1731,9 @@
     return unreported_usage.RecordUsage(
         id=f"{number:0128}",
         tenant="t",
-        by="a/00000000",
+        debtor="a/00000000",
         lines=tuple(
-            unreported_usage.UsageLine(f"{at:064}", 1.5, 60_000.0)
-            for at in range(unreported_usage.MOST_LINES)
+            unreported_usage.UsageLine(f"{at:064}", 1.5, 60_000.0) for at in range(unreported_usage.MAX_LINES)
         ),
     )
 
@@ -1750,10 +1791,10 @@
     monkeypatch.setattr(fleet_state, "MOST_IDS", 1)
     made = state()
     made.apply(0.0, 1, encode(0.0, narrow_batch(1)))
-    claim = unreported_usage.ClaimUsage(id="c", tenant="t", batch=narrow_batch(1).id, by="b/1")
+    claim = unreported_usage.ClaimUsage(id="c", tenant="t", batch=narrow_batch(1).id, reporter="b/1")
     made.apply(0.0, 2, encode(0.0, claim))
     assert made.apply(0.0, 3, encode(0.0, narrow_batch(1))).value is True
-    other = unreported_usage.ClaimUsage(id="d", tenant="t", batch=claim.batch, by="c/1")
+    other = unreported_usage.ClaimUsage(id="d", tenant="t", batch=claim.batch, reporter="c/1")
     assert isinstance(made.apply(0.0, 4, encode(0.0, other)).error, WrongState)
 
 
@@ -1872,8 +1913,8 @@
     ("part", "make", "most"),
     [
         (key_value.KeyValueStore, wide_promise, key_value.MOST_BYTES),
-        (unreported_usage.UnreportedUsage, wide_batch, unreported_usage.MOST_BYTES),
-        (unreported_usage.UnreportedUsage, narrow_batch, unreported_usage.MOST_BYTES),
+        (unreported_usage.UnreportedUsage, wide_batch, unreported_usage.MAX_UNREPORTED_BYTES),
+        (unreported_usage.UnreportedUsage, narrow_batch, unreported_usage.MAX_UNREPORTED_BYTES),
     ],
 )
 def test_a_full_part_holds_no_more_bytes_than_its_bound(
--- a/tests/cluster/test_rolling_restart.py
+++ b/tests/cluster/test_rolling_restart.py
@@ -23,8 +23,8 @@
     RemoveConnectionLimit,
     RequestConnectionLeases,
     SetConnectionLimit,
-    bucket,
-    process,
+    holder_id,
+    server_bucket,
 )
 from badgeryoke.cluster.errors import InvalidCall, UnknownOutcome, WrongState
 from badgeryoke.cluster.invariants import Invariants, InvariantViolation, Rule
@@ -42,7 +42,7 @@
     RollingRestartAgent,
     RollingRestarts,
     StartRollingRestart,
-    least_ms,
+    minimum_duration_ms,
 )
 from badgeryoke.cluster.state_machine.part import ApplyResult, Command, LeaderView
 from badgeryoke.cluster.timings import Timings
@@ -116,13 +116,15 @@
 
     def limit(self, server: str, most: int) -> None:
         self.limits[server] = most
-        self.state.apply(0, SetConnectionLimit(id="x", server=server, most=most, idle_ms=IDLE))
+        self.state.apply(
+            0, SetConnectionLimit(id="x", server=server, max_connections=most, idle_timeout_ms=IDLE)
+        )
 
     def start(self, name: str, boot: str) -> Gate:
         self.begun += 1
         rate = self.draw.choice((1.0 - DRIFT, 1.0, 1.0 + DRIFT))
-        me = process(f"{name}/1", boot, str(self.begun))
-        return Gate(ConnectionLeaseHolder(me, TIMINGS, self.rules, self.true * rate, alone=True), rate)
+        me = holder_id(f"{name}/1", boot, str(self.begun))
+        return Gate(ConnectionLeaseHolder(me, TIMINGS, self.rules, self.true * rate, only_process=True), rate)
 
     def kill(self, n: int, machine: bool) -> None:
         """The process dies; with its machine its kernel tells no server."""
@@ -132,7 +134,7 @@
             for one in held:
                 if one.owner is gate and not machine:
                     one.ends = min(one.ends, self.true + self.draw.uniform(0, KERNEL_MS))
-        boot = f"boot{self.begun}" if machine else gate.keeper.me.partition("#")[2].partition(".")[0]
+        boot = f"boot{self.begun}" if machine else gate.keeper.holder.partition("#")[2].partition(".")[0]
         self.gates[n] = self.start(f"g{n}", boot)
 
     def lead(self) -> None:
@@ -181,17 +183,17 @@
             for one in mine:
                 if one.ends <= self.true or one not in self.sockets[server]:
                     keeper.closed(server, begun=one.ends < float("inf"))
-                elif keeper.held(now, server):
+                elif keeper.lease_valid(now, server):
                     one.used = self.true
             gate.known[server] = [one for one in mine if one.ends > self.true and one in self.sockets[server]]
         for server, need in gate.need.items():
-            keeper.want(server, need)
-        for server, count in keeper.must_close(now):
+            keeper.set_need(server, need)
+        for server, count in keeper.excess(now):
             for one in [one for one in gate.known[server] if one.ends == float("inf")][:count]:
                 one.ends = self.true + self.draw.choice((10.0, 150.0))
                 keeper.closing(server)
         for server, need in gate.need.items():
-            while keeper.may_open(now, server) and keeper.pools[server].open < need:
+            while keeper.may_open(now, server) and keeper.servers[server].open < need:
                 keeper.opened(now, server)
                 one = Socket(gate, self.true)
                 self.sockets[server].append(one)
@@ -208,7 +210,7 @@
     def referee(self) -> None:
         for server, held in self.sockets.items():
             if server in self.state.servers:
-                granted = self.state.servers[server].parts.granted()
+                granted = self.state.servers[server].pool.granted()
                 if len(held) > granted:
                     raise InvariantViolation(
                         Rule.CONNECTIONS_FIT,
@@ -233,7 +235,7 @@
         elif what == 10:
             self.limit(draw.choice(list(self.limits)), draw.choice((2, 4, 6)))
         elif what == 11:
-            gate.keeper.leaving = not gate.keeper.leaving
+            gate.keeper.draining = not gate.keeper.draining
         elif not gate.frozen:  # cut off, and lost with its machine about when its lease ends
             gate.cut = True
             for _ in range(draw.randrange(80, 110)):
@@ -280,16 +282,16 @@
         world.draw, world.loss = Random(1), 0.0
         for gate in world.gates:
             gate.frozen = gate.cut = False
-            gate.need, gate.keeper.leaving = dict.fromkeys(LIMITS, 0), True
+            gate.need, gate.keeper.draining = dict.fromkeys(LIMITS, 0), True
         for _ in range(500):
             world.tick()
-        assert [one.parts.granted() for one in world.state.servers.values()] == [0.0, 0.0]
+        assert [one.pool.granted() for one in world.state.servers.values()] == [0.0, 0.0]
         for gate in world.gates:
-            gate.need, gate.keeper.leaving = dict.fromkeys(LIMITS, 9), False
+            gate.need, gate.keeper.draining = dict.fromkeys(LIMITS, 9), False
         for _ in range(400):
             world.tick()
         for server, one in world.state.servers.items():
-            assert one.parts.granted() == world.limits[server] == len(world.sockets[server])
+            assert one.pool.granted() == world.limits[server] == len(world.sockets[server])
 
 
 def machine(kind: type[RuleBasedStateMachine], examples: int, steps: int) -> None:
@@ -328,10 +330,10 @@
 
 def closed_too_soon(patch: pytest.MonkeyPatch) -> None:
     def closing(self: ConnectionLeaseHolder, server: str) -> None:
-        self.pools[server].open -= 1
+        self.servers[server].open -= 1
 
     def closed(self: ConnectionLeaseHolder, server: str, begun: bool = False) -> None:
-        self.pools[server].open -= not begun
+        self.servers[server].open -= not begun
 
     patch.setattr(ConnectionLeaseHolder, "closing", closing)
     patch.setattr(ConnectionLeaseHolder, "closed", closed)
@@ -341,8 +343,8 @@
     answered = ConnectionLeaseHolder.answered
 
     def late(self: ConnectionLeaseHolder, now: float, command: Command, result: Any) -> None:
-        if (out := self._out.get(command.key())) is not None:
-            out.asked = now
+        if (out := self._pending.get(command.key())) is not None:
+            out.first_sent_ms = now
         answered(self, now, command, result)
 
     patch.setattr(ConnectionLeaseHolder, "answered", late)
@@ -350,19 +352,21 @@
 
 def without_idle(patch: pytest.MonkeyPatch) -> None:
     patch.setattr(
-        ConnectionLimits, "patience", lambda self, idle: self.lease_ms() * (1 + DRIFT) / (1 - DRIFT) + 300.0
+        ConnectionLimits,
+        "expiry_after_ms",
+        lambda self, idle: self.lease_duration_ms() * (1 + DRIFT) / (1 - DRIFT) + 300.0,
     )
 
 
 def without_margin(patch: pytest.MonkeyPatch) -> None:
-    patch.setattr(ConnectionLimits, "patience", lambda self, idle: self.lease_ms() + idle)
+    patch.setattr(ConnectionLimits, "expiry_after_ms", lambda self, idle: self.lease_duration_ms() + idle)
 
 
 def opened_before_told(patch: pytest.MonkeyPatch) -> None:
     patch.setattr(
         ConnectionLeaseHolder,
         "may_open",
-        lambda self, now, server: self.pools[server].open < self.pools[server].part,
+        lambda self, now, server: self.servers[server].open < self.servers[server].granted,
     )
 
 
@@ -385,12 +389,16 @@
 
 def test_who_may_vouch_and_what_is_refused() -> None:
     state = ConnectionLimits(Invariants(), TIMINGS)
-    where = bucket("a")
+    where = server_bucket("a")
     assert isinstance(
-        state.apply(0, SetConnectionLimit(id="1", server="a", most=0, idle_ms=1.0)).error, InvalidCall
+        state.apply(0, SetConnectionLimit(id="1", server="a", max_connections=0, idle_timeout_ms=1.0)).error,
+        InvalidCall,
+    )
+    assert (
+        state.apply(0, SetConnectionLimit(id="2", server="a", max_connections=5, idle_timeout_ms=1.0)).error
+        is None
     )
-    assert state.apply(0, SetConnectionLimit(id="2", server="a", most=5, idle_ms=1.0)).error is None
-    old, new, other = process("g1/1", "b", "1"), process("g1/2", "b", "2"), process("g1/1", "c", "3")
+    old, new, other = holder_id("g1/1", "b", "1"), holder_id("g1/2", "b", "2"), holder_id("g1/1", "c", "3")
 
     def ask(who: str, number: int, keep: int, wish: int) -> Any:
         return state.apply(
@@ -399,25 +407,31 @@
                 id="3",
                 holder=who,
                 bucket=where,
-                asks=(ConnectionLeaseRequest("a", number, keep, wish),),
-                fresh=True,
+                requests=(ConnectionLeaseRequest("a", number, keep, wish),),
+                first_request=True,
             ),
         ).value
 
     assert ask(old, 0, 0, 4) == {"parts": [["a", 1, 4, 4, 1]], "old": []}
     assert ask(new, 0, 0, 5) == {"parts": [["a", 2, 1, 3, 0]], "old": [[old, "a", 1]]}
-    assert ask(old, 9, 0, 4)["parts"] == [["a", connection_limits.OVER, 0, 0, 0]]
+    assert ask(old, 9, 0, 4)["parts"] == [["a", connection_limits.LEASE_EXPIRED, 0, 0, 0]]
     for by in (old, other, "g1/1#.4"):
         told = state.apply(
             0,
-            ReleaseConnectionLeases(id="4", holder=old, bucket=where, ends=(("a", 1),), proof="reset", by=by),
+            ReleaseConnectionLeases(
+                id="4", holder=old, bucket=where, leases=(("a", 1),), proof="reset", reported_by=by
+            ),
         )
         assert isinstance(told.error, InvalidCall)
-    ended = ReleaseConnectionLeases(id="5", holder=old, bucket=where, ends=(("a", 1),), proof="reset", by=new)
+    ended = ReleaseConnectionLeases(
+        id="5", holder=old, bucket=where, leases=(("a", 1),), proof="reset", reported_by=new
+    )
     assert [state.apply(0, ended).value for _ in range(2)] == [{"ended": 1}, {"ended": 0}]
     # A lower limit takes nothing away, and nobody gets more until enough has come back.
     assert ask(new, 2, 1, 5)["parts"] == [["a", 3, 5, 5, 0]]
-    assert state.apply(0, SetConnectionLimit(id="6", server="a", most=2, idle_ms=1.0)).value == {"granted": 5}
+    assert state.apply(
+        0, SetConnectionLimit(id="6", server="a", max_connections=2, idle_timeout_ms=1.0)
+    ).value == {"granted": 5}
     assert ask(other, 0, 0, 5)["parts"] == [["a", 4, 0, 1, 0]]
     assert ask(new, 3, 5, 5)["parts"] == [["a", 5, 5, 1, 0]]
     assert ask(new, 5, 1, 1)["parts"][0][1:3] == [6, 1] and ask(other, 4, 0, 5)["parts"][0][2] == 1
@@ -430,15 +444,15 @@
     state = ConnectionLimits(Invariants(), TIMINGS)
     servers = [f"10.0.0.{n}:7000" for n in range(120)]
     for server in servers:
-        state.apply(0, SetConnectionLimit(id="x", server=server, most=40, idle_ms=IDLE))
+        state.apply(0, SetConnectionLimit(id="x", server=server, max_connections=40, idle_timeout_ms=IDLE))
     keepers = [
-        ConnectionLeaseHolder(process(f"g{n}/1", "b", "1"), TIMINGS, Invariants(), 0.0) for n in range(10)
+        ConnectionLeaseHolder(holder_id(f"g{n}/1", "b", "1"), TIMINGS, Invariants(), 0.0) for n in range(10)
     ]
     calls = 0
     for now in range(0, 20_000, 500):
         for keeper in keepers:
             for server in servers:
-                keeper.want(server, 1)
+                keeper.set_need(server, 1)
             for command in keeper.poll(now, now):
                 calls += now > 0
                 keeper.answered(now, command, state.apply(now, command))
@@ -447,9 +461,9 @@
 
 def test_who_leaves_gives_back_a_lease_on_nothing_at_once_and_may_ask_again_at_once() -> None:
     state = ConnectionLimits(Invariants(), TIMINGS)
-    state.apply(0, SetConnectionLimit(id="1", server="a", most=1, idle_ms=IDLE))
+    state.apply(0, SetConnectionLimit(id="1", server="a", max_connections=1, idle_timeout_ms=IDLE))
     first, second = (
-        ConnectionLeaseHolder(process(f"g{n}/1", "b", "1"), TIMINGS, Invariants(), 0.0) for n in (1, 2)
+        ConnectionLeaseHolder(holder_id(f"g{n}/1", "b", "1"), TIMINGS, Invariants(), 0.0) for n in (1, 2)
     )
 
     def polled(now: float, keeper: ConnectionLeaseHolder) -> int:
@@ -459,14 +473,17 @@
         return len(made)
 
     for keeper in (first, second):
-        keeper.want("a", 1)
+        keeper.set_need("a", 1)
         assert polled(0.0, keeper) == 1
-    assert second.pools["a"].number and not second.pools["a"].part
-    second.leaving = True
-    second.want("a", 0)
-    assert polled(connection_limits.SHORT_MS / 2, second) == 1 and second.empty
-    second.want("a", 1)  # a late query
-    assert polled(connection_limits.SHORT_MS / 2 + 1, second) == 1 and second.pools["a"].number
+    assert second.servers["a"].lease_number and not second.servers["a"].granted
+    second.draining = True
+    second.set_need("a", 0)
+    assert polled(connection_limits.MIN_REQUEST_INTERVAL_MS / 2, second) == 1 and second.empty
+    second.set_need("a", 1)  # a late query
+    assert (
+        polled(connection_limits.MIN_REQUEST_INTERVAL_MS / 2 + 1, second) == 1
+        and second.servers["a"].lease_number
+    )
 
 
 # Rolls
@@ -508,7 +525,7 @@
 
     def process(self, name: str) -> RollingRestartAgent:
         self.starts += 1
-        return RollingRestartAgent(name, process(f"{name}/1", "b", str(self.starts)))
+        return RollingRestartAgent(name, holder_id(f"{name}/1", "b", str(self.starts)))
 
     def caught_up(self, name: str) -> bool:
         gate = self.gates[name]
@@ -538,15 +555,15 @@
     def take(self, command: Command) -> ApplyResult:
         waits = {
             (roll.name, name)
-            for roll in self.state.rolls.values()
+            for roll in self.state.restarts.values()
             for name, one in roll.gateways.items()
-            if one.stand is GatewayPhase.WAITING
+            if one.phase is GatewayPhase.WAITING
         }
         answer = self.state.apply(self.now, command)
         begun = [
             key
             for key in sorted(waits)
-            if self.state.rolls[key[0]].gateways[key[1]].stand is GatewayPhase.GRANTING
+            if self.state.restarts[key[0]].gateways[key[1]].phase is GatewayPhase.GRANTING
         ]
         if begun:
             short = [name for name in NAMES if not self.caught_up(name)]
@@ -580,7 +597,7 @@
             command = one[1]
             if (
                 not isinstance(command, restart.StartWave)
-                or command.stamp != self.state.rolls[command.roll].changes
+                or command.restart_version != self.state.restarts[command.restart].version
             ):
                 self.take(
                     command
@@ -596,7 +613,13 @@
         if gate.frozen:
             return
         empty = self.now - gate.since >= EMPTY_MS and not gate.stuck
-        gate.side.tell(leads=0, trimmed=True, drained=gate.drained, empty=empty, whole=self.caught_up(name))
+        gate.side.observe(
+            groups_led=0,
+            trimmed=True,
+            drained=gate.drained,
+            empty=empty,
+            copies_complete=self.caught_up(name),
+        )
         for command in gate.side.poll(self.now, self.now):
             if self.draw.random() < self.loss or gate.cut:
                 gate.side.answered(self.now, command, UnknownOutcome("x", "no answer"))
@@ -604,9 +627,9 @@
             answer = self.take(command)
             lost = self.draw.random() < self.loss
             gate.side.answered(self.now, command, UnknownOutcome("x", "no answer") if lost else answer)
-        for duty in gate.side.duties(self.now):
+        for duty in gate.side.next_actions(self.now):
             if duty is DesiredState.PAUSE:
-                key = gate.side.record["roll"], name
+                key = gate.side.assignment["roll"], name
                 self.drains[key] = self.drains.get(key, 0) + 1
                 if self.drains[key] > 1:
                     raise InvariantViolation(Rule.ROLL_FORWARD, f"{key} drained twice")
@@ -634,22 +657,22 @@
             if (roll := self.state.active) is None:
                 break
             if any(
-                one.stand is GatewayPhase.HELD and self.now - one.since >= 1500.0
+                one.phase is GatewayPhase.HELD and self.now - one.since_ms >= 1500.0
                 for one in roll.gateways.values()
             ):
-                self.state.apply(self.now, ResumeGateway(id="r", roll=roll.name))
+                self.state.apply(self.now, ResumeGateway(id="r", restart=roll.name))
             self.tick()
-        assert self.state.active is None, self.state.told()
+        assert self.state.active is None, self.state.summaries()
         for _ in range(60):
             self.tick()
         assert not any(gate.drained or gate.side.paused or not gate.up for gate in self.gates.values())
         assert not self.rules.broken
-        return next(reversed(self.state.rolls.values()), None)
+        return next(reversed(self.state.restarts.values()), None)
 
     def ask(self, **more: Any) -> ApplyResult:
-        asked: dict[str, Any] = {"deadline_ms": 4000.0, "warm_ms": 500.0, **more}
+        asked: dict[str, Any] = {"deadline_ms": 4000.0, "warm_up_ms": 500.0, **more}
         return self.state.apply(
-            self.now, StartRollingRestart(id="a", roll=f"roll-{len(self.drains)}-{self.now:g}", **asked)
+            self.now, StartRollingRestart(id="a", restart=f"roll-{len(self.drains)}-{self.now:g}", **asked)
         )
 
     def act(self) -> None:
@@ -661,11 +684,11 @@
         if what < 2:
             self.ask(
                 at_once=draw.randrange(1, 4),
-                act=draw.choice(("restart", "restart", "hold")),
-                hall=draw.choice(("", "", "north")),
+                after_drain=draw.choice(("restart", "restart", "hold")),
+                zone=draw.choice(("", "", "north")),
             )
         elif what == 2 and (roll := self.state.active) is not None:
-            self.state.apply(self.now, CancelRollingRestart(id="c", roll=roll.name))
+            self.state.apply(self.now, CancelRollingRestart(id="c", restart=roll.name))
         elif what == 3 and gate.up:
             self.kill(name, draw.choice((-1.0, 300.0, 3000.0)))
         elif what == 4:
@@ -719,36 +742,40 @@
 
 
 def without_copies(patch: pytest.MonkeyPatch) -> None:
-    count = RollingRestarts.count
+    count = RollingRestarts.observe_conditions
 
     def blind(self: RollingRestarts, *given: Any) -> ClusterConditions:
-        return msgspec.structs.replace(count(self, *given), missing=0)
+        return msgspec.structs.replace(count(self, *given), missing_copies=0)
 
-    patch.setattr(RollingRestarts, "count", blind)
+    patch.setattr(RollingRestarts, "observe_conditions", blind)
 
 
 def without_compare(patch: pytest.MonkeyPatch) -> None:
-    patch.setattr(RollingRestarts, "_current", lambda self, one, round_: True)
-    table = dict(restart.STEPS)
-    for (_, step), after in restart.STEPS.items():
+    patch.setattr(RollingRestarts, "_is_current", lambda self, one, round_: True)
+    table = dict(restart.GATEWAY_TRANSITIONS)
+    for (_, step), after in restart.GATEWAY_TRANSITIONS.items():
         if step is not restart.GatewayEvent.CANCEL:
             table.update(
-                {(stand, step): after for stand in GatewayPhase if (stand, step) not in restart.STEPS}
+                {
+                    (stand, step): after
+                    for stand in GatewayPhase
+                    if (stand, step) not in restart.GATEWAY_TRANSITIONS
+                }
             )
-    patch.setattr(restart, "STEPS", table)
+    patch.setattr(restart, "GATEWAY_TRANSITIONS", table)
 
 
 def without_majority(patch: pytest.MonkeyPatch) -> None:
     patch.setattr(
-        ClusterConditions, "validate", lambda self: (Rule.COPIES_WHOLE, "x") if self.missing else None
+        ClusterConditions, "validate", lambda self: (Rule.COPIES_WHOLE, "x") if self.missing_copies else None
     )
     patch.setattr(
         RollingRestarts,
-        "_allowed",
+        "_check_conditions",
         lambda self, roll, facts: (
             ""
             if self._rules.check(
-                Rule.WAVE_KEEPS_QUORUM, facts is None or facts.spare >= 0, lambda: str(facts)
+                Rule.WAVE_KEEPS_QUORUM, facts is None or facts.spare_voters >= 0, lambda: str(facts)
             )
             else "no"
         ),
@@ -760,7 +787,9 @@
     patch.setattr(
         ClusterConditions,
         "validate",
-        lambda self: fault(ClusterConditions(self.missing, self.spare, self.halls, -1.0, 0.0)),
+        lambda self: fault(
+            ClusterConditions(self.missing_copies, self.spare_voters, self.emptied_zones, -1.0, 0.0)
+        ),
     )
 
 
@@ -804,18 +833,18 @@
 def test_at_each_step(event: str, act: str, stand: GatewayPhase) -> None:
     """Cancelled, or without its leader or the gateway, at each stand of one gateway."""
     world = Rolling(Random(0), loss=0.0)
-    world.ask(act=act)
+    world.ask(after_drain=act)
     seen: list[float] = []
 
     def hook() -> None:
         roll = world.state.active
-        if roll is None or seen or roll.gateways.get("g1") is None or roll.gateways["g1"].stand is not stand:
+        if roll is None or seen or roll.gateways.get("g1") is None or roll.gateways["g1"].phase is not stand:
             if roll is not None and seen and world.now - seen[0] >= 3000.0:
                 world.gates["g1"].cut = False
             return
         seen.append(world.now)
         if "cancel" in event:
-            world.state.apply(world.now, CancelRollingRestart(id="c", roll=roll.name))
+            world.state.apply(world.now, CancelRollingRestart(id="c", restart=roll.name))
         if "leader" in event:
             world.lead()
         if event == "gateway dies" and world.gates["g1"].up:
@@ -829,7 +858,7 @@
     assert roll.state is (RestartState.CANCELLED if "cancel" in event else RestartState.DONE)
     assert all(count == 1 for count in world.drains.values())
     if "cancel" not in event:
-        assert {one.stand for one in roll.gateways.values()} == {GatewayPhase.DONE}
+        assert {one.phase for one in roll.gateways.values()} == {GatewayPhase.DONE}
 
 
 def test_a_roll_says_why_it_waits_and_goes_on() -> None:
@@ -841,9 +870,9 @@
     def until(state: RestartState, why: str) -> None:
         for _ in range(400):
             world.tick()
-            if (roll := world.state.active) is not None and roll.state is state and why in roll.why:
+            if (roll := world.state.active) is not None and roll.state is state and why in roll.cause:
                 return
-        raise AssertionError(world.state.told())
+        raise AssertionError(world.state.summaries())
 
     until(RestartState.PAUSED, "g1 is late emptying")
     world.gates["g1"].stuck = False
@@ -859,11 +888,11 @@
     world.gates["g0"].stuck = True
     until(RestartState.PAUSED, "g0 is late emptying")
     assert world.state.active is not None
-    world.state.apply(world.now, ResumeGateway(id="f", roll=world.state.active.name, force=True))
+    world.state.apply(world.now, ResumeGateway(id="f", restart=world.state.active.name, force=True))
     roll = world.settle()
     assert roll is not None and roll.state is RestartState.DONE
     for hall in ("south", "nowhere"):
-        world.ask(hall=hall)
+        world.ask(zone=hall)
         done = world.settle()
         assert done is not None and done.state is (
             RestartState.DONE if hall == "south" else RestartState.FAILED
@@ -873,7 +902,7 @@
 def test_a_copy_of_an_earlier_incarnation_is_none() -> None:
     """A machine that lost its disk and was back at once passed for whole until a leader had reported it."""
     roll = RollingRestart(
-        "r", StartRollingRestart(id="1", roll="r"), gateways={"g0": restart.GatewayProgress()}
+        "r", StartRollingRestart(id="1", restart="r"), gateways={"g0": restart.GatewayProgress()}
     )
     groups = {"G": ("g0/1", "g1/1", "g2/1")}
     for here, fault in (
@@ -883,7 +912,7 @@
         seen = view(
             0.0, 0.0, alive=frozenset(here), halls=dict.fromkeys(("g0", "g1", "g2"), "h"), groups=groups
         )
-        found = RollingRestarts(Invariants()).count(seen, roll, ["g0"]).validate()
+        found = RollingRestarts(Invariants()).observe_conditions(seen, roll, ["g0"]).validate()
         assert (found and found[1]) == fault
     # One that loses its disk while it is turning clients away has no copies to leave behind; one that has
     # left has.
@@ -891,19 +920,19 @@
         0.0, 0.0, alive=frozenset(("g0/2", "g1/1", "g2/1")), halls={"g0": "h", "g1": "h"}, groups=groups
     )
     for stand, missing in ((GatewayPhase.EMPTYING, 1), (GatewayPhase.ACTING, 0)):
-        roll.gateways["g0"].stand = stand
-        assert RollingRestarts(Invariants()).count(lost, roll, ()).missing == missing
+        roll.gateways["g0"].phase = stand
+        assert RollingRestarts(Invariants()).observe_conditions(lost, roll, ()).missing_copies == missing
 
 
 def test_two_of_a_wave_that_come_to_share_a_group_leave_one_after_the_other() -> None:
     """A copy was made again at one of them while both turned clients away: neither could leave, for good."""
     rolls = RollingRestarts(Invariants())
-    rolls.rolls["r"] = roll = RollingRestart(
+    rolls.restarts["r"] = roll = RollingRestart(
         "r",
-        StartRollingRestart(id="1", roll="r", at_once=2),
+        StartRollingRestart(id="1", restart="r", at_once=2),
         RestartState.RUNNING,
         gateways={
-            name: restart.GatewayProgress(GatewayPhase.EMPTYING, told="empty") for name in ("g0", "g1")
+            name: restart.GatewayProgress(GatewayPhase.EMPTYING, report="empty") for name in ("g0", "g1")
         },
     )
     seen = view(
@@ -915,24 +944,24 @@
     )
     stale = msgspec.structs.replace(rolls.leader_tasks(seen)[0], gateway="g1")
     (step,) = rolls.leader_tasks(seen)
-    assert rolls.apply(0.0, step).error is None and roll.gateways["g0"].stand is GatewayPhase.ACTING
+    assert rolls.apply(0.0, step).error is None and roll.gateways["g0"].phase is GatewayPhase.ACTING
     assert isinstance(rolls.apply(0.0, stale).error, WrongState)  # counted before the other left
     assert not [one for one in rolls.leader_tasks(seen) if isinstance(one, RecordGatewayEvent)]
-    roll.gateways["g0"].stand = GatewayPhase.WARMING
+    roll.gateways["g0"].phase = GatewayPhase.WARMING
     assert [
         one.gateway
         for one in rolls.leader_tasks(seen)
-        if isinstance(one, RecordGatewayEvent) and one.step == "ACT"
+        if isinstance(one, RecordGatewayEvent) and one.event == "ACT"
     ] == ["g1"]
 
 
 def test_a_roll_takes_little_longer_than_the_limits_allow() -> None:
     world = Rolling(Random(0), loss=0.0)
-    world.ask(at_once=3, warm_ms=2000.0)
+    world.ask(at_once=3, warm_up_ms=2000.0)
     roll = world.settle()
     assert roll is not None
     named = {group: tuple(member_name(who) for who in voters) for group, voters in GROUPS.items()}
     # Turning away at once, then empty, ended and back, caught up, warm.
-    least = least_ms(NAMES, named, HALLS, 3, 0.6, EMPTY_MS + BACK_MS + CATCH_UP_MS + 2000.0)
+    least = minimum_duration_ms(NAMES, named, HALLS, 3, 0.6, EMPTY_MS + BACK_MS + CATCH_UP_MS + 2000.0)
     assert least == 5 * 4000.0
-    assert least <= roll.since <= 1.3 * least
+    assert least <= roll.since_ms <= 1.3 * least
--- a/tests/gateway/cluster/test_connection_leases.py
+++ b/tests/gateway/cluster/test_connection_leases.py
@@ -21,8 +21,8 @@
     ConnectionLimits,
     RequestConnectionLeases,
     SetConnectionLimit,
-    bucket,
-    process,
+    holder_id,
+    server_bucket,
 )
 from badgeryoke.cluster.errors import NoLeader
 from badgeryoke.cluster.invariants import Invariants
@@ -118,7 +118,7 @@
     @property
     def open(self) -> int:
         keeper = self.pools.keeper
-        return keeper.pools["s"].open if keeper is not None and "s" in keeper.pools else 0
+        return keeper.servers["s"].open if keeper is not None and "s" in keeper.servers else 0
 
     def ask(self, deadline_ms: float = 2 * PATIENT_MS) -> Attempt:
         """One attempt."""
@@ -151,7 +151,9 @@
         self.gates: list[Gate] = []
         self.cut: set[str] = set()
         self.part = ConnectionLimits(Invariants(), TIMINGS)
-        self.part.apply(0.0, SetConnectionLimit(id="l", server="s", most=MOST, idle_ms=IDLE_MS))
+        self.part.apply(
+            0.0, SetConnectionLimit(id="l", server="s", max_connections=MOST, idle_timeout_ms=IDLE_MS)
+        )
 
     async def run(self) -> None:
         while True:
@@ -400,12 +402,18 @@
         gate.node.states[FLEET] = GroupStateMachine(FLEET, TIMINGS, gate.rules)  # it holds no limits
         gate.node.replicas["g0"] = gate.node.replicas[FLEET] = SimpleNamespace(leading=True)  # type: ignore[assignment]
         for server in ("gone", "used"):
-            group.part.apply(0.0, SetConnectionLimit(id=server, server=server, most=MOST, idle_ms=IDLE_MS))
-        other = process("B/1", "b", "1")
+            group.part.apply(
+                0.0,
+                SetConnectionLimit(id=server, server=server, max_connections=MOST, idle_timeout_ms=IDLE_MS),
+            )
+        other = holder_id("B/1", "b", "1")
         group.part.apply(
             0.0,
             RequestConnectionLeases(
-                id="x", holder=other, bucket=bucket("used"), asks=(ConnectionLeaseRequest("used", 0, 0, 1),)
+                id="x",
+                holder=other,
+                bucket=server_bucket("used"),
+                requests=(ConnectionLeaseRequest("used", 0, 0, 1),),
             ),
         )
         now = 0.0
--- a/tests/support/cluster_history.py
+++ b/tests/support/cluster_history.py
@@ -26,7 +26,7 @@
 MEMBER, INCARNATION = "a", "1"
 OTHER = "g1"  # a group beside the fleet's own
 SNAPSHOT_AT = 12  # of the entries of each group lie in its snapshot, the others behind it
-BUCKET = connection_limits.bucket(SERVER)
+BUCKET = connection_limits.server_bucket(SERVER)
 TENANT, CONTRACT = "north", "payday"
 
 NIGHTLY = msgspec.structs.replace(
@@ -39,7 +39,7 @@
     windows=(contract.Window(from_ms=START_MS + 90_000, to_ms=START_MS + 900_000),),
 )
 ROLL = restart.StartRollingRestart(
-    id="r1", roll="nightly", gateways=("b", "a"), reason="new version", at_once=1, warm_ms=500.0
+    id="r1", restart="nightly", gateways=("b", "a"), reason="new version", at_once=1, warm_up_ms=500.0
 )
 
 FLEET_HISTORY: tuple[tuple[float, Command], ...] = (
@@ -78,27 +78,40 @@
         ),
     ),
     (62_001.0, ROLL),
-    (62_002.0, restart.RecordRestartEvent(id="r2", roll="nightly", stamp=0, turn="SEEN")),
+    (62_002.0, restart.RecordRestartEvent(id="r2", restart="nightly", restart_version=0, event="SEEN")),
     (
         62_003.0,
         restart.RecordRestartEvent(
-            id="r3", roll="nightly", stamp=1, turn="PLANNED", order=("b", "a"), members=4
+            id="r3", restart="nightly", restart_version=1, event="PLANNED", order=("b", "a"), member_count=4
         ),
     ),
-    (62_004.0, restart.StartWave(id="r4", roll="nightly", stamp=2, gateways=("b",), facts=FACTS)),
+    (
+        62_004.0,
+        restart.StartWave(id="r4", restart="nightly", restart_version=2, gateways=("b",), conditions=FACTS),
+    ),
     (
         62_005.0,
-        restart.ReportGateway(id="r5", roll="nightly", gateway="b", round=1, what="ready", process="b/5"),
+        restart.ReportGateway(
+            id="r5", restart="nightly", gateway="b", gateway_version=1, report="ready", process="b/5"
+        ),
     ),
     (
         62_200.0,
         restart.RecordGatewayEvent(
-            id="r6", roll="nightly", gateway="b", round=1, step="ROOMY", facts=FACTS, stamp=4
+            id="r6",
+            restart="nightly",
+            gateway="b",
+            gateway_version=1,
+            event="ROOMY",
+            conditions=FACTS,
+            restart_version=4,
         ),
     ),
     (
         62_250.0,
-        restart.ReportGateway(id="r7", roll="nightly", gateway="b", round=2, what="paused", process="b/5"),
+        restart.ReportGateway(
+            id="r7", restart="nightly", gateway="b", gateway_version=2, report="paused", process="b/5"
+        ),
     ),
     (62_300.0, contract.CancelContract(id="c10", contract="nightly")),
     (62_301.0, contract.CancelContract(id="c10", contract="nightly")),  # repeated: the same answer
@@ -131,8 +144,12 @@
         id=f"s{number}",
         holder=holder,
         bucket=BUCKET,
-        fresh=fresh,
-        asks=(connection_limits.ConnectionLeaseRequest(server=SERVER, number=held, keep=keep, wish=wish),),
+        first_request=fresh,
+        requests=(
+            connection_limits.ConnectionLeaseRequest(
+                server=SERVER, lease_number=held, keep=keep, wanted=wish
+            ),
+        ),
     )
 
 
@@ -152,14 +169,19 @@
             holds_from_ms=START_MS,
         ),
     ),
-    (3.0, connection_limits.SetConnectionLimit(id="s1", server=SERVER, most=24, idle_ms=30_000.0)),
+    (
+        3.0,
+        connection_limits.SetConnectionLimit(
+            id="s1", server=SERVER, max_connections=24, idle_timeout_ms=30_000.0
+        ),
+    ),
     (4.0, _connections(2, "a/1#boot.9", 0, 0, 8, False)),
     (5.0, _connections(3, "b/2#boot.7", 0, 0, 30, True)),
-    (6.0, unreported_usage.RecordUsage(id="o1", tenant=TENANT, by="a/1", lines=OWED)),
-    (7.0, unreported_usage.RecordUsage(id="o2", tenant=TENANT, by="b/2", lines=OWED[:1])),
+    (6.0, unreported_usage.RecordUsage(id="o1", tenant=TENANT, debtor="a/1", lines=OWED)),
+    (7.0, unreported_usage.RecordUsage(id="o2", tenant=TENANT, debtor="b/2", lines=OWED[:1])),
     (
         60_100.0,
-        unreported_usage.ClaimUsage(id="o3", tenant=TENANT, batch="o1", by="b/2"),
+        unreported_usage.ClaimUsage(id="o3", tenant=TENANT, batch="o1", reporter="b/2"),
     ),  # too late: it is closed
     (60_200.0, _lease(2, "a/1", 1, 0, 0.0, 60.5, False)),
     (60_300.0, _lease(3, "b/2", 1, 0, 0.0, 20.0, True)),
@@ -189,21 +211,33 @@
     ),
     (60_502.0, _lease(7, "a/1", 1, 1, 20.0, 40.0, False)),  # comes behind a later one
     (60_503.0, contract.ReleaseLease(id="f8", tenant=TENANT, contract=CONTRACT, holder="b/2", number=2)),
-    (60_504.0, unreported_usage.RecordUsage(id="o4", tenant=TENANT, by="c/3", lines=OWED)),
-    (60_505.0, unreported_usage.ClaimUsage(id="o5", tenant=TENANT, batch="o4", by="a/1")),
-    (60_506.0, unreported_usage.RecordUsage(id="o6", tenant=TENANT, by="c/3", lines=OWED[1:])),
-    (60_507.0, unreported_usage.ClaimUsage(id="o7", tenant=TENANT, batch="o6", by="a/1")),
+    (60_504.0, unreported_usage.RecordUsage(id="o4", tenant=TENANT, debtor="c/3", lines=OWED)),
+    (60_505.0, unreported_usage.ClaimUsage(id="o5", tenant=TENANT, batch="o4", reporter="a/1")),
+    (60_506.0, unreported_usage.RecordUsage(id="o6", tenant=TENANT, debtor="c/3", lines=OWED[1:])),
+    (60_507.0, unreported_usage.ClaimUsage(id="o7", tenant=TENANT, batch="o6", reporter="a/1")),
     (
         60_508.0,
-        unreported_usage.ConfirmUsageReported(id="o8", tenant=TENANT, batch="o6", by="a/1", known=True),
+        unreported_usage.ConfirmUsageReported(
+            id="o8", tenant=TENANT, batch="o6", reporter="a/1", outcome_known=True
+        ),
     ),
     (
         60_509.0,
         connection_limits.ReleaseConnectionLeases(
-            id="s4", holder="a/1#boot.9", bucket=BUCKET, ends=((SERVER, 1),), proof="reset", by="a/1#boot.10"
+            id="s4",
+            holder="a/1#boot.9",
+            bucket=BUCKET,
+            leases=((SERVER, 1),),
+            proof="reset",
+            reported_by="a/1#boot.10",
+        ),
+    ),
+    (
+        60_510.0,
+        connection_limits.SetConnectionLimit(
+            id="s5", server="gone:1", max_connections=3, idle_timeout_ms=1000.0
         ),
     ),
-    (60_510.0, connection_limits.SetConnectionLimit(id="s5", server="gone:1", most=3, idle_ms=1000.0)),
     (60_511.0, connection_limits.RemoveConnectionLimit(id="s6", server="gone:1")),
     (60_512.0, connection_limits.RemoveConnectionLimit(id="s7", server="never:1")),
     (63_500.0, contract.SwitchVersion(id="f9", tenant=TENANT, contract=CONTRACT)),
--- a/tests/support/cluster_samples.py
+++ b/tests/support/cluster_samples.py
@@ -110,7 +110,13 @@
         ),
     ),
 )
-FACTS = restart.ClusterConditions(missing=0, spare=1, halls=0, have=800.5, need=600.25)
+FACTS = restart.ClusterConditions(
+    missing_copies=0,
+    spare_voters=1,
+    emptied_zones=0,
+    remaining_units_per_s=800.5,
+    required_units_per_s=600.25,
+)
 OWED = (
     unreported_usage.UsageLine(name="quota-7", units=12.5, expire_ms=60_000.0),
     unreported_usage.UsageLine(name="quota-8", units=-3.0, expire_ms=1.0),
@@ -199,16 +205,23 @@
         ),
     ),
     ("end-lease", contract.ReleaseLease(id="f5", tenant="north", contract="payday", holder="a/1", number=4)),
-    ("limit", connection_limits.SetConnectionLimit(id="s1", server=SERVER, most=24, idle_ms=30_000.0)),
+    (
+        "limit",
+        connection_limits.SetConnectionLimit(
+            id="s1", server=SERVER, max_connections=24, idle_timeout_ms=30_000.0
+        ),
+    ),
     ("unlimit", connection_limits.RemoveConnectionLimit(id="s2", server=SERVER)),
     (
         "connection-leases",
         connection_limits.RequestConnectionLeases(
             id="s3",
             holder="a/1#boot.9",
-            bucket=connection_limits.bucket(SERVER),
-            fresh=True,
-            asks=(connection_limits.ConnectionLeaseRequest(server=SERVER, number=3, keep=2, wish=8),),
+            bucket=connection_limits.server_bucket(SERVER),
+            first_request=True,
+            requests=(
+                connection_limits.ConnectionLeaseRequest(server=SERVER, lease_number=3, keep=2, wanted=8),
+            ),
         ),
     ),
     (
@@ -216,52 +229,71 @@
         connection_limits.ReleaseConnectionLeases(
             id="s4",
             holder="a/1#boot.9",
-            bucket=connection_limits.bucket(SERVER),
-            ends=((SERVER, 3),),
+            bucket=connection_limits.server_bucket(SERVER),
+            leases=((SERVER, 3),),
             proof="reset",
-            by="a/1#boot.10",
+            reported_by="a/1#boot.10",
         ),
     ),
-    ("owe", unreported_usage.RecordUsage(id="o1", tenant="north", by="a/1", lines=OWED)),
-    ("claim", unreported_usage.ClaimUsage(id="o2", tenant="north", batch="o1", by="b/2")),
+    ("owe", unreported_usage.RecordUsage(id="o1", tenant="north", debtor="a/1", lines=OWED)),
+    ("claim", unreported_usage.ClaimUsage(id="o2", tenant="north", batch="o1", reporter="b/2")),
     (
         "owed-told",
-        unreported_usage.ConfirmUsageReported(id="o3", tenant="north", batch="o1", by="b/2", known=True),
+        unreported_usage.ConfirmUsageReported(
+            id="o3", tenant="north", batch="o1", reporter="b/2", outcome_known=True
+        ),
     ),
     ("owed-read", unreported_usage.ReadUnreportedUsage(id="o4", tenant="north")),
     (
         "roll-ask",
         restart.StartRollingRestart(
             id="r1",
-            roll="nightly",
+            restart="nightly",
             gateways=("b", "a"),
-            hall="east",
+            zone="east",
             reason="new version",
             deadline_ms=30_000.0,
             at_once=2,
-            act="hold",
-            warm_ms=500.0,
-            hall_may_go=True,
+            after_drain="hold",
+            warm_up_ms=500.0,
+            may_empty_zone=True,
         ),
     ),
-    ("roll-cancel", restart.CancelRollingRestart(id="r2", roll="nightly")),
-    ("roll-resume", restart.ResumeGateway(id="r3", roll="nightly", gateway="b", force=True)),
+    ("roll-cancel", restart.CancelRollingRestart(id="r2", restart="nightly")),
+    ("roll-resume", restart.ResumeGateway(id="r3", restart="nightly", gateway="b", force=True)),
     (
         "roll-turn",
         restart.RecordRestartEvent(
-            id="r4", roll="nightly", stamp=1, turn="PLANNED", why="as asked", order=("b", "a"), members=3
+            id="r4",
+            restart="nightly",
+            restart_version=1,
+            event="PLANNED",
+            cause="as asked",
+            order=("b", "a"),
+            member_count=3,
         ),
     ),
-    ("roll-wave", restart.StartWave(id="r5", roll="nightly", stamp=2, gateways=("b",), facts=FACTS)),
+    (
+        "roll-wave",
+        restart.StartWave(id="r5", restart="nightly", restart_version=2, gateways=("b",), conditions=FACTS),
+    ),
     (
         "roll-step",
         restart.RecordGatewayEvent(
-            id="r6", roll="nightly", gateway="b", round=1, step="ROOMY", facts=FACTS, stamp=3
+            id="r6",
+            restart="nightly",
+            gateway="b",
+            gateway_version=1,
+            event="ROOMY",
+            conditions=FACTS,
+            restart_version=3,
         ),
     ),
     (
         "roll-report",
-        restart.ReportGateway(id="r7", roll="nightly", gateway="b", round=1, what="ready", process="b/2"),
+        restart.ReportGateway(
+            id="r7", restart="nightly", gateway="b", gateway_version=1, report="ready", process="b/2"
+        ),
     ),
     ("roll-read", restart.ReadDesiredState(id="r8", gateway="b")),
     ("rolls-read", restart.ReadRollingRestarts(id="r9")),
--- a/tests/testbed/test_planted_faults.py
+++ b/tests/testbed/test_planted_faults.py
@@ -16,7 +16,7 @@
 from badgeryoke.cluster.messages import GroupConfiguration, RequestVoteReply
 from badgeryoke.cluster.raft.node import RaftNode, Role
 from badgeryoke.cluster.rolling_restart.restart import (
-    STEPS,
+    GATEWAY_TRANSITIONS,
     ClusterConditions,
     GatewayEvent,
     GatewayPhase,
@@ -222,15 +222,15 @@
 def silence_frees(patch: pytest.MonkeyPatch) -> None:
     """What a holder has is free when nothing was heard of it for half a lease."""
     patch.setattr(Timings, "outlast", lambda self: self.lease_ms / 2.0)
-    patch.setattr(ConnectionLimits, "patience", lambda self, idle_ms: self.lease_ms() / 2.0)
+    patch.setattr(ConnectionLimits, "expiry_after_ms", lambda self, idle_ms: self.lease_duration_ms() / 2.0)
 
 
 def no_idle_time(patch: pytest.MonkeyPatch) -> None:
     """A lost machine's connections count as closed when its lease is over."""
-    patch.setattr(ConnectionLimits, "lease_ms", lambda self: self._timings.lease_ms)
+    patch.setattr(ConnectionLimits, "lease_duration_ms", lambda self: self._timings.lease_ms)
     patch.setattr(ConnectionLeaseHolder, "lease_ms", 2000.0, raising=False)
-    patch.setattr("badgeryoke.cluster.connection_limits.LEASES", 1.0)
-    patch.setattr(ConnectionLimits, "patience", lambda self, idle_ms: self._timings.outlast())
+    patch.setattr("badgeryoke.cluster.connection_limits.LEASE_MULTIPLE", 1.0)
+    patch.setattr(ConnectionLimits, "expiry_after_ms", lambda self, idle_ms: self._timings.outlast())
 
 
 def returned_too_soon(patch: pytest.MonkeyPatch) -> None:
@@ -242,7 +242,7 @@
     """A gateway opens what it has asked for."""
 
     def may_open(self: ConnectionLeaseHolder, now: float, server: str) -> bool:
-        return self.pools[server].open < self.pools[server].need
+        return self.servers[server].open < self.servers[server].need
 
     patch.setattr(ConnectionLeaseHolder, "may_open", may_open)
 
@@ -251,15 +251,15 @@
     """A wave looks at no copies."""
     patch.setattr(
         RollingRestarts,
-        "count",
+        "observe_conditions",
         lambda self, view, roll, wave, leaving="": ClusterConditions(0, 1, 0, -1.0, 0.0),
     )
 
 
 def any_round(patch: pytest.MonkeyPatch) -> None:
     """A step is made wherever its gateway stands by now, and back to where it stood."""
-    patch.setattr(RollingRestarts, "_current", lambda self, one, round_: True)
-    patch.setitem(STEPS, (GatewayPhase.RETURNING, GatewayEvent.WHOLE), GatewayPhase.GRANTING)
+    patch.setattr(RollingRestarts, "_is_current", lambda self, one, round_: True)
+    patch.setitem(GATEWAY_TRANSITIONS, (GatewayPhase.RETURNING, GatewayEvent.WHOLE), GatewayPhase.GRANTING)
 
 
 TABLE: dict[str, Planted] = {
