--- /dev/null
+++ b/badgeryoke/cluster/connection_limits/limits.py
@@ -0,0 +1,258 @@
+"""The replicated part: each server's limit, and which gateway holds how much of it."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from typing import Any
+from zlib import crc32
+
+import msgspec
+
+from badgeryoke.cluster.connection_limits.commands import (
+    ConnectionLease,
+    ConnectionLeaseRequest,
+    ConnectionLeases,
+    LeaseReference,
+    LeaseRefusal,
+    ReleaseConnectionLeases,
+    ReleaseProof,
+    RemoveConnectionLimit,
+    RequestConnectionLeases,
+    SetConnectionLimit,
+    StaleLease,
+)
+from badgeryoke.cluster.connection_limits.holders import machine_of, server_bucket
+from badgeryoke.cluster.connection_limits.lease_timing import CLOSE_BEFORE_EXPIRY_MS, connection_lease_ms
+from badgeryoke.cluster.errors import InvalidCall, NotFound
+from badgeryoke.cluster.invariants import Invariants, Rule
+from badgeryoke.cluster.leases.lease_pool import EDGE, LeaseGrant, LeasePool, LeaseShare
+from badgeryoke.cluster.messages import MemberId
+from badgeryoke.cluster.state_machine.part import ApplyResult, Command, LeaderView
+from badgeryoke.cluster.timings import Timings
+
+MAX_SERVERS = 4096  # of one group; more limits are rejected
+MAX_RELEASES_PER_HEARTBEAT = 64  # commands that the leader proposes; the others wait for the next
+
+
+@dataclass(slots=True)
+class ServerLimit:
+    """One server's limit: `pool.aim` is the limit, and `pool.whole` is above it while more is granted than
+    a lowered limit."""
+
+    idle_timeout_ms: float
+    pool: LeasePool
+    removed: bool = False
+
+
+class ConnectionLimits:
+    """The limits of a group's servers, and the leases on them.  A `StateMachinePart`."""
+
+    def __init__(self, rules: Invariants, timings: Timings) -> None:
+        self._invariants, self._timings = rules, timings
+        self.servers: dict[str, ServerLimit] = {}
+        # Over all servers, so that one that was removed and comes back does not begin at 1 again.
+        self._last_lease_number = 0
+
+    def apply(self, at_ms: float, command: Command) -> ApplyResult:
+        """See `StateMachinePart.apply`."""
+        if problem := command.validate():
+            return ApplyResult(error=InvalidCall(command.key(), problem))
+        match command:
+            case SetConnectionLimit():
+                return self._set_limit(command)
+            case RemoveConnectionLimit():
+                return self._remove_limit(command)
+            case RequestConnectionLeases():
+                return self._grant_leases(command)
+            case ReleaseConnectionLeases():
+                return self._release(command)
+        return ApplyResult(error=InvalidCall("connections", f"unknown command {command.command_name()}"))
+
+    def _set_limit(self, command: SetConnectionLimit) -> ApplyResult:
+        limit = self.servers.get(command.server)
+        if limit is None:
+            if len(self.servers) >= MAX_SERVERS:
+                return ApplyResult(
+                    error=InvalidCall(command.server, f"{MAX_SERVERS} servers have a limit already")
+                )
+            limit = ServerLimit(command.idle_timeout_ms, LeasePool(0.0, step=1.0))
+            self.servers[command.server] = limit
+        limit.pool.resize(float(command.max_connections), 0.0)
+        limit.idle_timeout_ms, limit.removed = command.idle_timeout_ms, False
+        return ApplyResult({"granted": int(limit.pool.granted())})
+
+    def _remove_limit(self, command: RemoveConnectionLimit) -> ApplyResult:
+        limit = self.servers.get(command.server)
+        if limit is None:
+            return ApplyResult(error=NotFound(command.server, "no limit of that server is known"))
+        limit.pool.resize(0.0, 0.0)
+        limit.removed = True
+        self._forget_if_unused(command.server)
+        return ApplyResult({"granted": int(limit.pool.granted())})
+
+    def _forget_if_unused(self, server: str) -> None:
+        if self.servers[server].removed and not self.servers[server].pool.held:
+            del self.servers[server]
+
+    def _grant_leases(self, command: RequestConnectionLeases) -> ApplyResult:
+        leases = [self._grant(command.holder, request) for request in command.requests]
+        stale = self._stale_leases(command) if command.first_request else []
+        return ApplyResult(msgspec.to_builtins(ConnectionLeases(leases, stale)))
+
+    def _stale_leases(self, command: RequestConnectionLeases) -> list[StaleLease]:
+        """Leases in the bucket that other processes of the holder's machine hold."""
+        machine = machine_of(command.holder)
+        if machine is None:
+            return []
+        return [
+            StaleLease(holder, server, share.number)
+            for server, limit in self.servers.items()
+            if server_bucket(server) == command.bucket
+            for holder, share in limit.pool.held.items()
+            if holder != command.holder and machine_of(holder) == machine
+        ]
+
+    def _grant(self, holder: MemberId, request: ConnectionLeaseRequest) -> ConnectionLease:
+        limit = self.servers.get(request.server)
+        if limit is None:
+            return ConnectionLease(request.server, LeaseRefusal.LIMIT_UNKNOWN)
+        pool = limit.pool
+        granted_before = pool.granted()
+        pool.last = self._last_lease_number
+        grant = pool.ask(holder, request.lease_number, request.keep, request.wanted, 0.0, self._invariants)
+        if not isinstance(grant, LeaseGrant):  # the request keeps more than is held, or of an expired lease
+            return ConnectionLease(request.server, LeaseRefusal.LEASE_EXPIRED)
+        share = pool.held.get(holder)
+        if share is None:
+            self._forget_if_unused(request.server)
+            return ConnectionLease(request.server, 0, spare=max(int(grant.spare), 0))
+        target = self._grow_to_target(holder, request, pool, share, grant.fair)
+        self._check_grant(request.server, pool, share, granted_before)
+        spare = max(int(pool.aim - pool.granted()), 0)
+        return ConnectionLease(request.server, share.number, int(share.part), target, spare)
+
+    def _grow_to_target(
+        self,
+        holder: MemberId,
+        request: ConnectionLeaseRequest,
+        pool: LeasePool,
+        share: LeaseShare,
+        fair: float,
+    ) -> int:
+        """Grant one more connection where the holder is below its target; gives the target.
+
+        A fair share of 0.12 is one connection for those who come first, or nobody would have any.  What is
+        left beyond the whole connections of the fair shares goes to nobody while another has less than those,
+        or it would circulate between holders that have them already."""
+        whole_share = int(fair + EDGE)
+        others_short = any(
+            other.part + EDGE < min(other.wish, whole_share)
+            for name, other in pool.held.items()
+            if name != holder
+        )
+        target = min(whole_share if others_short else math.ceil(fair - EDGE), request.wanted)
+        granted = pool.granted()
+        if share.part < target and pool.aim - granted >= 1.0 - EDGE:
+            pool.grow(holder, 1.0)
+            granted += 1.0
+        if pool.aim - granted >= 1.0 - EDGE and not others_short:
+            target = max(target, int(share.part))  # nobody is short: idle connections may stay open
+        return target
+
+    def _check_grant(self, server: str, pool: LeasePool, share: LeaseShare, granted_before: float) -> None:
+        self._invariants.check(
+            Rule.LEASE_ONCE,
+            share.number > self._last_lease_number,
+            lambda: (
+                f"{server}: lease {share.number} was given before, the last was {self._last_lease_number}"
+            ),
+        )
+        self._last_lease_number = share.number
+        granted, limit = pool.granted(), pool.aim
+        self._invariants.check(
+            Rule.CONNECTIONS_FIT,
+            granted <= max(limit, granted_before) + EDGE,
+            lambda: f"{server}: {granted:g} of {limit:g} granted, {granted_before:g} before",
+        )
+
+    def _release(self, command: ReleaseConnectionLeases) -> ApplyResult:
+        released = 0
+        for lease in command.leases:
+            limit = self.servers.get(lease.server)
+            if limit is not None and limit.pool.end(command.holder, lease.lease_number):
+                released += 1
+                self._forget_if_unused(lease.server)
+        return ApplyResult({"ended": released})
+
+    def lease_duration_ms(self) -> float:
+        """Life of a lease by its holder's clock."""
+        return connection_lease_ms(self._timings)
+
+    def expiry_after_ms(self, idle_timeout_ms: float) -> float:
+        """From when a grant was seen here until its holder's connections are closed at the server, whatever
+        became of the holder: the lease and then the idle timeout, by the slowest clock there, measured by the
+        fastest here."""
+        drift = self._timings.clock_drift
+        slowest = (self.lease_duration_ms() + idle_timeout_ms) * (1.0 + drift) / (1.0 - drift)
+        return slowest + CLOSE_BEFORE_EXPIRY_MS
+
+    def leader_tasks(self, view: LeaderView) -> list[Command]:
+        """Release the leases of holders that are lost."""
+        self.seen(view.now)
+        expired: dict[tuple[MemberId, str], list[LeaseReference]] = {}
+        for server, limit in self.servers.items():
+            expiry_ms = self.expiry_after_ms(limit.idle_timeout_ms)
+            for holder, lease_number in limit.pool.over(view.now, expiry_ms, view.lead_since):
+                leases = expired.setdefault((holder, server_bucket(server)), [])
+                leases.append(LeaseReference(server, lease_number))
+        return [
+            _release_command(holder, bucket, leases)
+            for (holder, bucket), leases in list(expired.items())[:MAX_RELEASES_PER_HEARTBEAT]
+        ]
+
+    def seen(self, now: float) -> None:
+        """See `StateMachinePart.seen`."""
+        for limit in self.servers.values():
+            limit.pool.seen(now)
+
+    def summary(self) -> dict[str, Any]:
+        """For operators, by the keys of the interface: limit, connections granted, number of holders."""
+        return {
+            server: {
+                "limit": int(limit.pool.aim),
+                "granted": int(limit.pool.granted()),
+                "holders": len(limit.pool.held),
+            }
+            for server, limit in self.servers.items()
+        }
+
+    def dump(self) -> Any:
+        """See `StateMachinePart.dump`; the order of the lists is the stored format."""
+        return [
+            self._last_lease_number,
+            [
+                [server, limit.idle_timeout_ms, limit.removed, limit.pool.dump()]
+                for server, limit in self.servers.items()
+            ],
+        ]
+
+    def load(self, raw: Any) -> None:
+        """See `StateMachinePart.load`."""
+        self._last_lease_number, servers = raw
+        self.servers = {
+            server: ServerLimit(idle_timeout_ms, LeasePool.load(pool), removed)
+            for server, idle_timeout_ms, removed, pool in servers
+        }
+
+
+def _release_command(holder: MemberId, bucket: str, leases: list[LeaseReference]) -> ReleaseConnectionLeases:
+    # The id names the leases by a checksum over plain tuples, so that a repeat is harmless.
+    checksum = crc32(repr([(lease.server, lease.lease_number) for lease in leases]).encode())
+    return ReleaseConnectionLeases(
+        id=f"conn-end/{bucket}/{holder}/{checksum:08x}",
+        holder=holder,
+        bucket=bucket,
+        leases=tuple(leases),
+        proof=ReleaseProof.IDLE.value,
+    )
--- a/badgeryoke/cluster/node.py
+++ b/badgeryoke/cluster/node.py
@@ -16,7 +16,8 @@
 import msgspec
 
 from badgeryoke.cluster.bootstrap import Bootstrap
-from badgeryoke.cluster.connection_limits import SetConnectionLimit, server_bucket
+from badgeryoke.cluster.connection_limits.commands import SetConnectionLimit
+from badgeryoke.cluster.connection_limits.holders import server_bucket
 from badgeryoke.cluster.errors import (
     AnyError,
     ClusterError,
--- /dev/null
+++ b/badgeryoke/cluster/rolling_restart/waves.py
@@ -0,0 +1,411 @@
+"""Rolling restarts as replicated state: how each command changes it.
+
+Gateways are drained and restarted, or held, in waves.  A wave begins only where the remaining gateways carry
+the present traffic and contracts, each zone stays served, each group keeps its majority, and all copies have
+caught up; no gateway is taken into the next wave before those of the last one serve again and are warm.
+
+Each change is compare-and-set: a gateway's event and report on the gateway's version, a wave and an event of
+the whole restart on the restart's version.  So any leader goes on where another stopped, and a command that
+was proposed twice takes effect once.  The leader decides only where conditions must hold (`scheduler`); the
+other events are reports of the gateways themselves (`gateway_agent`).
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from badgeryoke.cluster.errors import AnyError, InvalidCall, NotFound, WrongState
+from badgeryoke.cluster.invariants import Invariants, Rule
+from badgeryoke.cluster.rolling_restart.assignment import assignment_of
+from badgeryoke.cluster.rolling_restart.commands import (
+    AfterDrain,
+    CancelRollingRestart,
+    ReadDesiredState,
+    ReadRollingRestarts,
+    RecordGatewayEvent,
+    RecordRestartEvent,
+    ReportGateway,
+    ResumeGateway,
+    StartRollingRestart,
+    StartWave,
+)
+from badgeryoke.cluster.rolling_restart.conditions import ClusterConditions
+from badgeryoke.cluster.rolling_restart.plan import GatewayProgress, RollingRestart
+from badgeryoke.cluster.rolling_restart.scheduler import RestartScheduler
+from badgeryoke.cluster.rolling_restart.transitions import (
+    AWAITED_REPORTS,
+    ENDED_STATES,
+    FINAL_PHASES,
+    GATEWAY_TRANSITIONS,
+    LEADER_EVENTS,
+    PHASE_RANK,
+    REPORTED_EVENTS,
+    REQUIRED_REPORTS,
+    RESTART_TRANSITIONS,
+    GatewayEvent,
+    GatewayPhase,
+    GatewayReport,
+    RestartEvent,
+    RestartState,
+)
+from badgeryoke.cluster.state_machine.part import ApplyResult, Command, LeaderView
+
+MAX_RESTARTS = 16  # kept, with those that have ended; the one that ended first is dropped first
+
+RestartCommand = (
+    CancelRollingRestart | ResumeGateway | RecordRestartEvent | StartWave | RecordGatewayEvent | ReportGateway
+)
+
+
+def _refused(error: AnyError) -> ApplyResult:
+    return ApplyResult(error=error)
+
+
+class RollingRestarts:
+    """The rolling restarts of a cluster; one at a time is active.  A `StateMachinePart`."""
+
+    def __init__(self, rules: Invariants) -> None:
+        self._invariants = rules
+        self._scheduler = RestartScheduler()
+        self.restarts: dict[str, RollingRestart] = {}
+
+    @property
+    def active(self) -> RollingRestart | None:
+        """The restart that has not ended."""
+        return next(
+            (restart for restart in self.restarts.values() if restart.state not in ENDED_STATES), None
+        )
+
+    def apply(self, at_ms: float, command: Command) -> ApplyResult:
+        """See `StateMachinePart.apply`."""
+        if problem := command.validate():
+            return _refused(InvalidCall("roll", problem))
+        match command:
+            case ReadDesiredState():
+                return self._assignment(command.gateway)
+            case StartRollingRestart():
+                return self._start(at_ms, command)
+            case (
+                CancelRollingRestart()
+                | ResumeGateway()
+                | RecordRestartEvent()
+                | StartWave()
+                | RecordGatewayEvent()
+                | ReportGateway()
+            ):
+                restart = self.restarts.get(command.restart)
+                if restart is None:
+                    return _refused(NotFound(command.restart, "no roll of that name is known"))
+                return self._apply_to(at_ms, restart, command)
+        return _refused(NotFound("roll", "no roll of that name is known"))
+
+    def _apply_to(self, at_ms: float, restart: RollingRestart, command: RestartCommand) -> ApplyResult:
+        match command:
+            case CancelRollingRestart():
+                return self._cancel(at_ms, restart)
+            case ResumeGateway():
+                return self._resume(at_ms, restart, command)
+            case RecordRestartEvent():
+                return self._record_restart_event(at_ms, restart, command)
+            case StartWave():
+                return self._start_wave(at_ms, restart, command)
+            case RecordGatewayEvent():
+                return self._record_gateway_event(at_ms, restart, command)
+            case ReportGateway():
+                return self._report(at_ms, restart, command)
+
+    def query(self, command: ReadDesiredState | ReadRollingRestarts) -> ApplyResult:
+        """Answer a command that only reads."""
+        match command:
+            case ReadDesiredState():
+                return self._assignment(command.gateway)
+            case ReadRollingRestarts():
+                return ApplyResult(self.summaries())
+
+    def leader_tasks(self, view: LeaderView) -> list[Command]:
+        """See `StateMachinePart.leader_tasks`."""
+        restart = self.active
+        return [] if restart is None else self._scheduler.proposals(view, restart)
+
+    # Transitions.
+
+    def _transition(
+        self, at_ms: float, restart: RollingRestart, event: RestartEvent, cause: str = ""
+    ) -> bool:
+        """Move the restart to its next state; false where the event does not belong to its state."""
+        state = RESTART_TRANSITIONS.get((restart.state, event))
+        if state is None:
+            return False
+        restart.state, restart.since_ms, restart.cause = state, at_ms, cause
+        restart.version += 1
+        return True
+
+    def _advance(self, at_ms: float, restart: RollingRestart, name: str, event: GatewayEvent) -> bool:
+        """Move one gateway to its next phase, and finish the restart where it was the last."""
+        gateway = restart.gateways[name]
+        phase = GATEWAY_TRANSITIONS.get((gateway.phase, event))
+        if phase is None:
+            return False
+        gateway.drain_count += phase is GatewayPhase.PAUSING
+        self._invariants.check(
+            Rule.ROLL_FORWARD,
+            PHASE_RANK[phase] > PHASE_RANK[gateway.phase] and gateway.drain_count <= 1,
+            lambda: (
+                f"{restart.name}: {name} from {gateway.phase.value} to {phase.value}, "
+                f"{gateway.drain_count} drains"
+            ),
+        )
+        gateway.phase, gateway.since_ms, gateway.report = phase, at_ms, None
+        gateway.version += 1
+        restart.version += 1
+        if all(other.phase in FINAL_PHASES for other in restart.gateways.values()):
+            self._transition(at_ms, restart, RestartEvent.FINISHED, restart.cause)
+        return True
+
+    # Commands of operators.
+
+    def _start(self, at_ms: float, command: StartRollingRestart) -> ApplyResult:
+        name = command.restart
+        if name in self.restarts:
+            return _refused(WrongState(name, "a roll of that name is known already"))
+        if (other := self.active) is not None:
+            return _refused(WrongState(name, f"{other.name} is {other.state.value}: one roll at a time"))
+        while len(self.restarts) >= MAX_RESTARTS:
+            del self.restarts[next(iter(self.restarts))]  # all have ended, the first longest ago
+        self.restarts[name] = RollingRestart(name, command, since_ms=at_ms)
+        return ApplyResult({"roll": name, "state": RestartState.ASKED.value})
+
+    def _cancel(self, at_ms: float, restart: RollingRestart) -> ApplyResult:
+        if not self._transition(at_ms, restart, RestartEvent.CANCEL, "cancelled"):
+            return _refused(WrongState(restart.name, f"it is {restart.state.value}"))
+        for name in restart.gateways:
+            self._advance(at_ms, restart, name, GatewayEvent.CANCEL)
+        return ApplyResult(self._summary(restart))
+
+    def _resume(self, at_ms: float, restart: RollingRestart, command: ResumeGateway) -> ApplyResult:
+        if command.gateway and command.gateway not in restart.gateways:
+            return _refused(NotFound(command.gateway, f"not in {restart.name}"))
+        resumed = 0
+        for name in [command.gateway] if command.gateway else list(restart.gateways):
+            gateway = restart.gateways[name]
+            if gateway.phase is GatewayPhase.HELD:
+                resumed += self._advance(at_ms, restart, name, GatewayEvent.RELEASE)
+            elif (
+                command.force
+                and gateway.phase is GatewayPhase.EMPTYING
+                and gateway.report is not GatewayReport.EMPTY
+            ):
+                gateway.report = GatewayReport.EMPTY
+                restart.version += 1
+                resumed += 1
+        if not resumed:
+            nobody = "nobody there is held, or, with force, waits to become empty"
+            return _refused(WrongState(restart.name, nobody))
+        return ApplyResult(self._summary(restart))
+
+    # Commands of the leader.
+
+    def _record_restart_event(
+        self, at_ms: float, restart: RollingRestart, command: RecordRestartEvent
+    ) -> ApplyResult:
+        event = RestartEvent.__members__.get(command.event)
+        if (
+            command.restart_version != restart.version
+            or event is None
+            or event in (RestartEvent.CANCEL, RestartEvent.FINISHED)
+        ):
+            return _refused(WrongState(restart.name, "it has moved on"))
+        planned = event is RestartEvent.PLANNED
+        if planned and (not command.order or len(set(command.order)) < len(command.order)):
+            return _refused(InvalidCall(restart.name, "order: expected gateways, each once"))
+        if not self._transition(at_ms, restart, event, command.cause):
+            return _refused(WrongState(restart.name, f"it is {restart.state.value}"))
+        if planned:
+            restart.gateways = {name: GatewayProgress(since_ms=at_ms) for name in command.order}
+            restart.member_count = max(command.member_count, 1)
+        return ApplyResult(self._summary(restart))
+
+    def _check_conditions(self, restart: RollingRestart, conditions: ClusterConditions | None) -> str:
+        """Why gateways may not go, empty where they may; a leader that proposes it all the same has broken an
+        invariant."""
+        problem = conditions.validate() if conditions is not None else (Rule.WAVE_KEEPS_ROOM, "no facts")
+        if problem is None:
+            return ""
+        rule, cause = problem
+        self._invariants.check(rule, False, lambda: f"{restart.name}: {cause}")
+        return cause
+
+    def _start_wave(self, at_ms: float, restart: RollingRestart, command: StartWave) -> ApplyResult:
+        if problem := self._wave_problem(restart, command):
+            return _refused(WrongState(restart.name, problem))
+        for name in command.gateways:
+            self._advance(at_ms, restart, name, GatewayEvent.BEGIN)
+        return ApplyResult(self._summary(restart))
+
+    def _wave_problem(self, restart: RollingRestart, command: StartWave) -> str:
+        if command.restart_version != restart.version or restart.state is not RestartState.RUNNING:
+            return "it has moved on"
+        fits = 1 <= len(command.gateways) <= restart.request.at_once
+        if not fits or restart.gateways_in_progress():
+            return "the wave before is under way, or this one is too large"
+        waiting = restart.gateways_in(GatewayPhase.WAITING)
+        if not waiting.issuperset(command.gateways):
+            return "not all of them wait"
+        return self._check_conditions(restart, command.conditions)
+
+    def _is_current(self, gateway: GatewayProgress, version: int) -> bool:
+        """Whether an event or a report was meant for the phase in which the gateway is now."""
+        return gateway.version == version
+
+    def _record_gateway_event(
+        self, at_ms: float, restart: RollingRestart, command: RecordGatewayEvent
+    ) -> ApplyResult:
+        gateway = restart.gateways.get(command.gateway)
+        event = GatewayEvent.__members__.get(command.event)
+        if (
+            gateway is None
+            or event not in LEADER_EVENTS
+            or not self._is_current(gateway, command.gateway_version)
+        ):
+            return _refused(WrongState(restart.name, f"{command.gateway} has moved on"))
+        assert event is not None  # LEADER_EVENTS holds no None
+        if problem := self._event_problem(restart, gateway, event, command):
+            return _refused(WrongState(restart.name, problem))
+        if not self._advance(at_ms, restart, command.gateway, event):
+            return _refused(WrongState(restart.name, f"{command.gateway} is {gateway.phase.value}"))
+        return ApplyResult(self._summary(restart))
+
+    def _event_problem(
+        self,
+        restart: RollingRestart,
+        gateway: GatewayProgress,
+        event: GatewayEvent,
+        command: RecordGatewayEvent,
+    ) -> str:
+        if event is GatewayEvent.LOST and restart.state is not RestartState.CANCELLING:
+            return "it waits for who is lost"
+        if event not in REQUIRED_REPORTS:
+            return ""
+        if command.restart_version != restart.version:
+            return "it has moved on"  # the process of another gateway may have ended since
+        holds = restart.request.after_drain == AfterDrain.HOLD
+        wrong_event = GatewayEvent.ACT if holds else GatewayEvent.HOLD
+        if (
+            restart.state is not RestartState.RUNNING
+            or gateway.report is not REQUIRED_REPORTS[event]
+            or event is wrong_event
+        ):
+            return f"{command.gateway} is not ready for that"
+        return self._check_conditions(restart, command.conditions)
+
+    # Reports of gateways.
+
+    def _report(self, at_ms: float, restart: RollingRestart, command: ReportGateway) -> ApplyResult:
+        """Take a report in.  One that is out of date changes nothing, and its answer says what is so now."""
+        gateway = restart.gateways.get(command.gateway)
+        if gateway is None or not self._is_current(gateway, command.gateway_version):
+            return self._assignment(command.gateway)
+        report = GatewayReport(command.report)
+        event = REPORTED_EVENTS[report]
+        if event is not None:
+            # BACK counts from another process than the one whose wave began.
+            if event is not GatewayEvent.BACK or gateway.process != command.process:
+                self._advance(at_ms, restart, command.gateway, event)
+        elif report is AWAITED_REPORTS.get(gateway.phase):
+            if report is GatewayReport.READY:
+                gateway.process = command.process
+            if gateway.report is not report:
+                gateway.report = report
+                restart.version += 1
+        return self._assignment(command.gateway)
+
+    # Answers.
+
+    def _assignment(self, name: str) -> ApplyResult:
+        return ApplyResult(assignment_of(self.active, name).to_answer())
+
+    def _summary(self, restart: RollingRestart) -> dict[str, Any]:
+        """For operators, by the keys of the interface."""
+        return {
+            "roll": restart.name,
+            "state": restart.state.value,
+            "why": restart.cause,
+            "act": restart.request.after_drain,
+            "reason": restart.request.reason,
+            "since_ms": restart.since_ms,
+            "gateways": {name: gateway.phase.value for name, gateway in restart.gateways.items()},
+        }
+
+    def summaries(self) -> list[dict[str, Any]]:
+        """For operators: every restart that is kept."""
+        return [self._summary(restart) for restart in self.restarts.values()]
+
+    def planning_horizon_ms(self) -> float:
+        """How far ahead contracts count as load for the next wave: it may need its deadline twice, to drain
+        and to come back, and then warms up."""
+        restart = self.active
+        if restart is None:
+            return 0.0
+        return 2 * restart.request.deadline_ms + restart.request.warm_up_ms
+
+    # Snapshots.
+
+    def seen(self, now: float) -> None:
+        """See `StateMachinePart.seen`; nothing here ends by the monotonic clock."""
+
+    def dump(self) -> Any:
+        """See `StateMachinePart.dump`; the order of the lists is the stored format."""
+        return [
+            [
+                msgspec.to_builtins(restart.request),
+                restart.state.name,
+                restart.since_ms,
+                restart.cause,
+                restart.version,
+                restart.member_count,
+                [_dump_gateway(name, gateway) for name, gateway in restart.gateways.items()],
+            ]
+            for restart in self.restarts.values()
+        ]
+
+    def load(self, raw: Any) -> None:
+        """See `StateMachinePart.load`."""
+        self.restarts = {}
+        for raw_request, state, since_ms, cause, version, member_count, gateways in raw:
+            request = msgspec.convert(raw_request, StartRollingRestart)
+            self.restarts[request.restart] = RollingRestart(
+                request.restart,
+                request,
+                RestartState[state],
+                since_ms,
+                cause,
+                version,
+                member_count,
+                dict(map(_load_gateway, gateways)),
+            )
+
+
+def _dump_gateway(name: str, gateway: GatewayProgress) -> list[Any]:
+    return [
+        name,
+        gateway.phase.name,
+        gateway.version,
+        gateway.since_ms,
+        gateway.report.value if gateway.report is not None else "",
+        gateway.process,
+        gateway.drain_count,
+    ]
+
+
+def _load_gateway(raw: list[Any]) -> tuple[str, GatewayProgress]:
+    name, phase, version, since_ms, report, process, drain_count = raw
+    return name, GatewayProgress(
+        GatewayPhase[phase],
+        version,
+        since_ms,
+        GatewayReport(report) if report else None,
+        process,
+        drain_count,
+    )
--- a/badgeryoke/cluster/state_machine/machine.py
+++ b/badgeryoke/cluster/state_machine/machine.py
@@ -14,12 +14,15 @@
 
 import msgspec
 
-from badgeryoke.cluster import connection_limits, key_value, unreported_usage
+from badgeryoke.cluster import key_value, unreported_usage
+from badgeryoke.cluster.connection_limits.commands import CONNECTION_LIMIT_COMMANDS
+from badgeryoke.cluster.connection_limits.limits import ConnectionLimits
 from badgeryoke.cluster.errors import DuplicateId, InvalidCall
 from badgeryoke.cluster.invariants import Invariants, Rule
 from badgeryoke.cluster.placement import directory
 from badgeryoke.cluster.reservations import contract
-from badgeryoke.cluster.rolling_restart import restart
+from badgeryoke.cluster.rolling_restart.commands import ROLLING_RESTART_COMMANDS
+from badgeryoke.cluster.rolling_restart.waves import RollingRestarts
 from badgeryoke.cluster.state_machine.part import FLEET, ApplyResult, Command, LeaderView
 from badgeryoke.cluster.timings import Timings
 
@@ -58,12 +61,12 @@
 REGISTRY.add("promises", key_value.COMMANDS, lambda timings, rules: key_value.KeyValueStore(), False)
 REGISTRY.add("placing", directory.COMMANDS, directory.PlacementDirectory, True)
 REGISTRY.add("contracts", contract.FLEET_COMMANDS, contract.ContractRegistry, True)
-REGISTRY.add("rolls", restart.COMMANDS, lambda timings, rules: restart.RollingRestarts(rules), True)
+REGISTRY.add("rolls", ROLLING_RESTART_COMMANDS, lambda timings, rules: RollingRestarts(rules), True)
 REGISTRY.add("floors", contract.TENANT_COMMANDS, contract.GuaranteedRates, False)
 REGISTRY.add(
     "connections",
-    connection_limits.COMMANDS,
-    lambda timings, rules: connection_limits.ConnectionLimits(rules, timings),
+    CONNECTION_LIMIT_COMMANDS,
+    lambda timings, rules: ConnectionLimits(rules, timings),
     False,
 )
 REGISTRY.add(
--- a/badgeryoke/gateway/cluster/connection_leases.py
+++ b/badgeryoke/gateway/cluster/connection_leases.py
@@ -20,17 +20,14 @@
 
 from tornado.iostream import IOStream
 
-from badgeryoke.cluster.connection_limits import (
-    CLOSE_BEFORE_EXPIRY_MS,
-    ConnectionLeaseHolder,
-    RemoveConnectionLimit,
-    SetConnectionLimit,
-    holder_id,
-)
+from badgeryoke.cluster.connection_limits.commands import RemoveConnectionLimit, SetConnectionLimit
+from badgeryoke.cluster.connection_limits.holders import holder_id
+from badgeryoke.cluster.connection_limits.lease_holder import ConnectionLeaseHolder
+from badgeryoke.cluster.connection_limits.lease_timing import CLOSE_BEFORE_EXPIRY_MS
 from badgeryoke.cluster.errors import ClusterError
 from badgeryoke.cluster.invariants import Invariants
 from badgeryoke.cluster.node import ClusterNode
-from badgeryoke.cluster.rolling_restart.restart import DesiredState, RollingRestartAgent
+from badgeryoke.cluster.rolling_restart.gateway_agent import DesiredState, RollingRestartAgent
 from badgeryoke.cluster.state_machine.part import FLEET, ApplyResult, Command
 from badgeryoke.gateway.actor import READ_CHUNK, ActorScheduler, new_socket
 from badgeryoke.gateway.cluster.settings import ClusterSettings
@@ -348,7 +345,7 @@
             copies_complete=node.founding.record is not None and all(one.whole for one in replicas),
         )
         for duty in rolled.next_actions(now):
-            log.info("roll %s: %s", rolled.assignment.get("roll"), duty.name.lower())
+            log.info("roll %s: %s", rolled.restart, duty.name.lower())
             if duty is DesiredState.LEAVE:
                 self._gateway.end()
             elif said := self._gateway.pause() if duty is DesiredState.PAUSE else self._gateway.resume():
--- a/badgeryoke/testbed/cluster_simulation/gateway.py
+++ b/badgeryoke/testbed/cluster_simulation/gateway.py
@@ -16,18 +16,15 @@
 from random import Random
 from typing import TYPE_CHECKING, Any
 
-from badgeryoke.cluster.connection_limits import ConnectionLeaseHolder, holder_id
+from badgeryoke.cluster.connection_limits.holders import holder_id
+from badgeryoke.cluster.connection_limits.lease_holder import ConnectionLeaseHolder
 from badgeryoke.cluster.invariants import InvariantViolation
 from badgeryoke.cluster.messages import member_name
 from badgeryoke.cluster.reservations.contract import ContractTerms, ProposeContract, ReadContracts, Window
 from badgeryoke.cluster.reservations.lease_client import ReservationClient
-from badgeryoke.cluster.rolling_restart.restart import (
-    DesiredState,
-    ReadRollingRestarts,
-    RollingRestartAgent,
-    StartRollingRestart,
-    minimum_duration_ms,
-)
+from badgeryoke.cluster.rolling_restart.commands import ReadRollingRestarts, StartRollingRestart
+from badgeryoke.cluster.rolling_restart.gateway_agent import DesiredState, RollingRestartAgent
+from badgeryoke.cluster.rolling_restart.minimum_duration import minimum_duration_ms
 from badgeryoke.cluster.state_machine.part import FLEET, ApplyResult
 from badgeryoke.testbed.checkers.contract_ledger import LEFT_OUT_MS, Book, least
 from badgeryoke.testbed.cluster_simulation.clock import UNIX_MS
@@ -614,7 +611,7 @@
                 side.paused_at = math.inf
             elif not side.leaving:
                 side.leaving = True
-                roll = str(rolled.assignment.get("roll"))
+                roll = str(rolled.restart)
                 at = roll, machine.name
                 self.drained[at] = self.drained.get(at, 0) + 1
                 if self.drained[at] > 1:
--- a/badgeryoke/testbed/emulator/cluster.py
+++ b/badgeryoke/testbed/emulator/cluster.py
@@ -16,7 +16,7 @@
 from typing import Any
 
 from badgeryoke.cluster.placement.directory import copies_for, group_of
-from badgeryoke.cluster.rolling_restart.restart import minimum_duration_ms
+from badgeryoke.cluster.rolling_restart.minimum_duration import minimum_duration_ms
 from badgeryoke.cluster.state_machine.part import FLEET
 from badgeryoke.testbed.checkers.contract_ledger import FEW, least
 from badgeryoke.testbed.checkers.contract_ledger import Book as ContractBook
--- a/tests/cluster/test_behaviour_digests.py
+++ b/tests/cluster/test_behaviour_digests.py
@@ -10,18 +10,18 @@
 import pytest
 
 from badgeryoke.cluster.bootstrap import BootstrapRecord
-from badgeryoke.cluster.connection_limits import (
+from badgeryoke.cluster.connection_limits.commands import (
     MAX_LIMIT,
-    ConnectionLeaseHolder,
-    ConnectionLimits,
+    LeaseReference,
     ReleaseConnectionLeases,
     RemoveConnectionLimit,
     RequestConnectionLeases,
     SetConnectionLimit,
-    holder_id,
-    server_bucket,
 )
-from badgeryoke.cluster.connection_limits import ConnectionLeaseRequest as ConnAsk
+from badgeryoke.cluster.connection_limits.commands import ConnectionLeaseRequest as ConnAsk
+from badgeryoke.cluster.connection_limits.holders import holder_id, server_bucket
+from badgeryoke.cluster.connection_limits.lease_holder import ConnectionLeaseHolder
+from badgeryoke.cluster.connection_limits.limits import ConnectionLimits
 from badgeryoke.cluster.errors import NoLeader, StorageFailed, UnknownOutcome
 from badgeryoke.cluster.events import (
     ChangeMembership as ChangeMembers,
@@ -107,25 +107,27 @@
 from badgeryoke.cluster.reservations.lease_client import ReservationClient, ReservedUnits
 from badgeryoke.cluster.reservations.priority_shedding import CapacityClaim as ShareClaim
 from badgeryoke.cluster.reservations.priority_shedding import CapacityShares
-from badgeryoke.cluster.rolling_restart.restart import (
-    REPORTS,
+from badgeryoke.cluster.rolling_restart.commands import (
     CancelRollingRestart,
-    ClusterConditions,
-    GatewayEvent,
-    GatewayPhase,
     ReadDesiredState,
     ReadRollingRestarts,
     RecordGatewayEvent,
     RecordRestartEvent,
     ReportGateway,
-    RestartEvent,
     ResumeGateway,
-    RollingRestartAgent,
-    RollingRestarts,
     StartRollingRestart,
     StartWave,
-    minimum_duration_ms,
 )
+from badgeryoke.cluster.rolling_restart.conditions import ClusterConditions
+from badgeryoke.cluster.rolling_restart.gateway_agent import RollingRestartAgent
+from badgeryoke.cluster.rolling_restart.minimum_duration import minimum_duration_ms
+from badgeryoke.cluster.rolling_restart.transitions import (
+    GatewayEvent,
+    GatewayPhase,
+    GatewayReport,
+    RestartEvent,
+)
+from badgeryoke.cluster.rolling_restart.waves import RollingRestarts
 from badgeryoke.cluster.state_machine.machine import GroupStateMachine, command_from, encode
 from badgeryoke.cluster.state_machine.part import FLEET, Command, LeaderView
 from badgeryoke.cluster.timings import Timings, faults
@@ -736,7 +738,7 @@
             restart=roll,
             gateway=name,
             gateway_version=draw.randint(0, 2),
-            report=draw.choice((*REPORTS, "gone")),
+            report=draw.choice((*(report.value for report in GatewayReport), "gone")),
             process=draw.choice((name, f"{name}-2", "")),
         )
 
@@ -778,7 +780,7 @@
                 id=self.id(),
                 holder=holder,
                 bucket=where,
-                leases=((server, self.number()),),
+                leases=(LeaseReference(server, self.number()),),
                 proof=draw.choice(("idle", "reset", "guess")),
                 reported_by=draw.choice(HOLDERS),
             )
--- a/tests/cluster/test_golden_cluster.py
+++ b/tests/cluster/test_golden_cluster.py
@@ -19,7 +19,7 @@
 
 from badgeryoke.cluster import key_value, messages, unreported_usage
 from badgeryoke.cluster.bootstrap import BootstrapRecord as FoundingRecord
-from badgeryoke.cluster.connection_limits import ConnectionLeaseRequest as ConnectionsAsk
+from badgeryoke.cluster.connection_limits.commands import ConnectionLeaseRequest as ConnectionsAsk
 from badgeryoke.cluster.errors import AnyError, ClusterError
 from badgeryoke.cluster.events import (
     ClusterCall,
@@ -39,7 +39,14 @@
 from badgeryoke.cluster.placement import directory
 from badgeryoke.cluster.placement.directory import group_of
 from badgeryoke.cluster.reservations import contract
-from badgeryoke.cluster.rolling_restart import restart
+from badgeryoke.cluster.rolling_restart.conditions import ClusterConditions
+from badgeryoke.cluster.rolling_restart.transitions import (
+    GatewayEvent,
+    GatewayPhase,
+    GatewayReport,
+    RestartEvent,
+    RestartState,
+)
 from badgeryoke.cluster.state_machine.machine import REGISTRY, GroupStateMachine, encode
 from badgeryoke.cluster.state_machine.part import FLEET, ApplyResult, Command, LeaderView
 from badgeryoke.cluster.timings import Timings
@@ -157,7 +164,7 @@
         FoundingRecord,
         contract.Window,
         contract.ContractTerms,
-        restart.ClusterConditions,
+        ClusterConditions,
         unreported_usage.UsageLine,
         directory.ReplicaMove,
         directory.GroupPlacement,
@@ -176,22 +183,22 @@
 def stored_words() -> dict[str, list[Any]]:
     """The words by which snapshots, entries and answers name members of enumerations, reports and parts."""
     names: dict[str, type[Enum]] = {
-        "roll states": restart.RestartState,
-        "roll turns": restart.RestartEvent,
-        "gateway stands": restart.GatewayPhase,
-        "gateway steps": restart.GatewayEvent,
+        "roll states": RestartState,
+        "roll turns": RestartEvent,
+        "gateway stands": GatewayPhase,
+        "gateway steps": GatewayEvent,
         "rules": Rule,
     }
     values: dict[str, type[Enum]] = {
         "contract states": contract.ContractState,
-        "roll states told": restart.RestartState,
-        "gateway stands told": restart.GatewayPhase,
+        "roll states told": RestartState,
+        "gateway stands told": GatewayPhase,
     }
     return (
         {name: [one.name for one in kind] for name, kind in names.items()}
         | {name: [one.value for one in kind] for name, kind in values.items()}
         | {
-            "reports": list(restart.REPORTS),
+            "reports": [report.value for report in GatewayReport],
             "fleet parts": list(REGISTRY.own),
             "other parts": list(REGISTRY.others),
         }
--- a/tests/cluster/test_regressions.py
+++ b/tests/cluster/test_regressions.py
@@ -22,19 +22,18 @@
 from badgeryoke.cluster import key_value, unreported_usage
 from badgeryoke.cluster import node as fleet_node
 from badgeryoke.cluster.bootstrap import Bootstrap, BootstrapRecord
-from badgeryoke.cluster.connection_limits import (
-    CLOSE_BEFORE_EXPIRY_MS,
-    KERNEL_RESET_MS,
-    LEASE_EXPIRED,
-    LEASE_MULTIPLE,
-    ConnectionLeaseHolder,
-    ConnectionLimits,
+from badgeryoke.cluster.connection_limits.commands import (
+    LeaseReference,
+    LeaseRefusal,
     ReleaseConnectionLeases,
     RemoveConnectionLimit,
     RequestConnectionLeases,
     SetConnectionLimit,
-    server_bucket,
 )
+from badgeryoke.cluster.connection_limits.holders import server_bucket
+from badgeryoke.cluster.connection_limits.lease_holder import KERNEL_RESET_MS, ConnectionLeaseHolder
+from badgeryoke.cluster.connection_limits.lease_timing import CLOSE_BEFORE_EXPIRY_MS, LEASE_MULTIPLE
+from badgeryoke.cluster.connection_limits.limits import ConnectionLimits
 from badgeryoke.cluster.errors import (
     BadFrame,
     DuplicateId,
@@ -121,21 +120,24 @@
     Window,
 )
 from badgeryoke.cluster.reservations.lease_client import ReservationClient
-from badgeryoke.cluster.rolling_restart.restart import (
-    GROWTH_MARGIN_MS,
-    MAX_ASSIGNMENT_AGE_MS,
+from badgeryoke.cluster.rolling_restart.commands import (
     CancelRollingRestart,
-    ClusterConditions,
-    DesiredState,
     RecordGatewayEvent,
     RecordRestartEvent,
     ReportGateway,
-    RollingRestartAgent,
-    RollingRestarts,
     StartRollingRestart,
     StartWave,
 )
-from badgeryoke.cluster.rolling_restart.restart import RestartState as RollState
+from badgeryoke.cluster.rolling_restart.conditions import ClusterConditions
+from badgeryoke.cluster.rolling_restart.gateway_agent import (
+    MAX_ASSIGNMENT_AGE_MS,
+    DesiredState,
+    RollingRestartAgent,
+)
+from badgeryoke.cluster.rolling_restart.observation import observe_conditions
+from badgeryoke.cluster.rolling_restart.scheduler import GROWTH_MARGIN_MS
+from badgeryoke.cluster.rolling_restart.transitions import RestartState as RollState
+from badgeryoke.cluster.rolling_restart.waves import RollingRestarts
 from badgeryoke.cluster.state_machine import machine as fleet_state
 from badgeryoke.cluster.state_machine.machine import GroupStateMachine, decode, encode
 from badgeryoke.cluster.state_machine.part import FLEET, ApplyResult, Command, LeaderView
@@ -1059,7 +1061,7 @@
     assert step(made, "a", "ROOMY").error is not None  # it has not said that it is ready
     assert step(made, "b", "WARM").error is not None and step(made, "a", "PAUSED").error is not None
     report(made, "a", "ready", round_=0)
-    assert made.restarts["r"].gateways["a"].report == ""  # of a round before
+    assert made.restarts["r"].gateways["a"].report is None  # of a round before
     report(made, "a", "ready")
     assert step(made, "a", "ROOMY", round_=0).error is not None
     assert step(made, "a", "ROOMY").error is None and stands(made) == "pausing waiting waiting"
@@ -1103,7 +1105,7 @@
         **more,
     }
     view = LeaderView(now=0.0, wall=0.0, me="d/1", lead_since=0.0, timings=Timings(), dead_for={}, **given)
-    return made.observe_conditions(view, made.restarts["r"], wave)
+    return observe_conditions(view, made.restarts["r"], wave)
 
 
 def test_what_a_wave_leaves_is_counted() -> None:
@@ -1274,7 +1276,11 @@
 @pytest.mark.parametrize(
     ("row", "may", "over"),
     [
-        (["s", LEASE_EXPIRED, 0, 0, 0], False, 2),  # the lease is over: nothing may be open
+        (
+            ["s", LeaseRefusal.LEASE_EXPIRED.value, 0, 0, 0],
+            False,
+            2,
+        ),  # the lease is over: nothing may be open
         (["s", 5, 6, 2, 0], False, 0),  # above its aim it opens no more
         (["s", 5, 6, 1, 0], False, 1),
         (["s", 5, 6, 3, 0], True, 0),
@@ -1306,7 +1312,7 @@
         id="e",
         holder="a/1#boot.1",
         bucket=server_bucket("s"),
-        leases=(("s", 1),),
+        leases=(LeaseReference("s", 1),),
         proof="reset",
         reported_by="a/1#reboot.2",
     )
--- a/tests/cluster/test_rolling_restart.py
+++ b/tests/cluster/test_rolling_restart.py
@@ -14,36 +14,43 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
 
-from badgeryoke.cluster import connection_limits
-from badgeryoke.cluster.connection_limits import (
-    ConnectionLeaseHolder,
+from badgeryoke.cluster.connection_limits.commands import (
     ConnectionLeaseRequest,
-    ConnectionLimits,
+    LeaseReference,
+    LeaseRefusal,
     ReleaseConnectionLeases,
     RemoveConnectionLimit,
     RequestConnectionLeases,
     SetConnectionLimit,
-    holder_id,
-    server_bucket,
 )
+from badgeryoke.cluster.connection_limits.holders import holder_id, server_bucket
+from badgeryoke.cluster.connection_limits.lease_holder import ConnectionLeaseHolder
+from badgeryoke.cluster.connection_limits.limits import ConnectionLimits
+from badgeryoke.cluster.connection_limits.server_connections import MIN_REQUEST_INTERVAL_MS
 from badgeryoke.cluster.errors import InvalidCall, UnknownOutcome, WrongState
 from badgeryoke.cluster.invariants import Invariants, InvariantViolation, Rule
 from badgeryoke.cluster.messages import member_name
-from badgeryoke.cluster.rolling_restart import restart
-from badgeryoke.cluster.rolling_restart.restart import (
+from badgeryoke.cluster.rolling_restart import scheduler, waves
+from badgeryoke.cluster.rolling_restart.commands import (
     CancelRollingRestart,
-    ClusterConditions,
-    DesiredState,
-    GatewayPhase,
     RecordGatewayEvent,
-    RestartState,
     ResumeGateway,
-    RollingRestart,
-    RollingRestartAgent,
-    RollingRestarts,
     StartRollingRestart,
-    minimum_duration_ms,
+    StartWave,
+)
+from badgeryoke.cluster.rolling_restart.conditions import ClusterConditions
+from badgeryoke.cluster.rolling_restart.gateway_agent import DesiredState, RollingRestartAgent
+from badgeryoke.cluster.rolling_restart.minimum_duration import minimum_duration_ms
+from badgeryoke.cluster.rolling_restart.observation import observe_conditions
+from badgeryoke.cluster.rolling_restart.plan import GatewayProgress, RollingRestart
+from badgeryoke.cluster.rolling_restart.transitions import (
+    GATEWAY_TRANSITIONS,
+    GatewayEvent,
+    GatewayPhase,
+    GatewayReport,
+    RestartState,
 )
+from badgeryoke.cluster.rolling_restart.waves import RollingRestarts
 from badgeryoke.cluster.state_machine.part import ApplyResult, Command, LeaderView
 from badgeryoke.cluster.timings import Timings
 
@@ -414,17 +421,22 @@
 
     assert ask(old, 0, 0, 4) == {"parts": [["a", 1, 4, 4, 1]], "old": []}
     assert ask(new, 0, 0, 5) == {"parts": [["a", 2, 1, 3, 0]], "old": [[old, "a", 1]]}
-    assert ask(old, 9, 0, 4)["parts"] == [["a", connection_limits.LEASE_EXPIRED, 0, 0, 0]]
+    assert ask(old, 9, 0, 4)["parts"] == [["a", LeaseRefusal.LEASE_EXPIRED, 0, 0, 0]]
     for by in (old, other, "g1/1#.4"):
         told = state.apply(
             0,
             ReleaseConnectionLeases(
-                id="4", holder=old, bucket=where, leases=(("a", 1),), proof="reset", reported_by=by
+                id="4",
+                holder=old,
+                bucket=where,
+                leases=(LeaseReference("a", 1),),
+                proof="reset",
+                reported_by=by,
             ),
         )
         assert isinstance(told.error, InvalidCall)
     ended = ReleaseConnectionLeases(
-        id="5", holder=old, bucket=where, leases=(("a", 1),), proof="reset", reported_by=new
+        id="5", holder=old, bucket=where, leases=(LeaseReference("a", 1),), proof="reset", reported_by=new
     )
     assert [state.apply(0, ended).value for _ in range(2)] == [{"ended": 1}, {"ended": 0}]
     # A lower limit takes nothing away, and nobody gets more until enough has come back.
@@ -478,12 +490,9 @@
     assert second.servers["a"].lease_number and not second.servers["a"].granted
     second.draining = True
     second.set_need("a", 0)
-    assert polled(connection_limits.MIN_REQUEST_INTERVAL_MS / 2, second) == 1 and second.empty
+    assert polled(MIN_REQUEST_INTERVAL_MS / 2, second) == 1 and second.empty
     second.set_need("a", 1)  # a late query
-    assert (
-        polled(connection_limits.MIN_REQUEST_INTERVAL_MS / 2 + 1, second) == 1
-        and second.servers["a"].lease_number
-    )
+    assert polled(MIN_REQUEST_INTERVAL_MS / 2 + 1, second) == 1 and second.servers["a"].lease_number
 
 
 # Rolls
@@ -596,7 +605,7 @@
             self.late.remove(one)
             command = one[1]
             if (
-                not isinstance(command, restart.StartWave)
+                not isinstance(command, StartWave)
                 or command.restart_version != self.state.restarts[command.restart].version
             ):
                 self.take(
@@ -629,7 +638,7 @@
             gate.side.answered(self.now, command, UnknownOutcome("x", "no answer") if lost else answer)
         for duty in gate.side.next_actions(self.now):
             if duty is DesiredState.PAUSE:
-                key = gate.side.assignment["roll"], name
+                key = str(gate.side.restart), name
                 self.drains[key] = self.drains.get(key, 0) + 1
                 if self.drains[key] > 1:
                     raise InvariantViolation(Rule.ROLL_FORWARD, f"{key} drained twice")
@@ -742,27 +751,22 @@
 
 
 def without_copies(patch: pytest.MonkeyPatch) -> None:
-    count = RollingRestarts.observe_conditions
+    def blind(*given: Any) -> ClusterConditions:
+        return msgspec.structs.replace(observe_conditions(*given), missing_copies=0)
 
-    def blind(self: RollingRestarts, *given: Any) -> ClusterConditions:
-        return msgspec.structs.replace(count(self, *given), missing_copies=0)
-
-    patch.setattr(RollingRestarts, "observe_conditions", blind)
+    patch.setattr(scheduler, "observe_conditions", blind)
 
 
 def without_compare(patch: pytest.MonkeyPatch) -> None:
     patch.setattr(RollingRestarts, "_is_current", lambda self, one, round_: True)
-    table = dict(restart.GATEWAY_TRANSITIONS)
-    for (_, step), after in restart.GATEWAY_TRANSITIONS.items():
-        if step is not restart.GatewayEvent.CANCEL:
+    table = dict(GATEWAY_TRANSITIONS)
+    for (_, step), after in GATEWAY_TRANSITIONS.items():
+        if step is not GatewayEvent.CANCEL:
             table.update(
-                {
-                    (stand, step): after
-                    for stand in GatewayPhase
-                    if (stand, step) not in restart.GATEWAY_TRANSITIONS
-                }
+                {(stand, step): after for stand in GatewayPhase if (stand, step) not in GATEWAY_TRANSITIONS}
             )
-    patch.setattr(restart, "GATEWAY_TRANSITIONS", table)
+    for module in (waves, scheduler):
+        patch.setattr(module, "GATEWAY_TRANSITIONS", table)
 
 
 def without_majority(patch: pytest.MonkeyPatch) -> None:
@@ -774,7 +778,7 @@
         "_check_conditions",
         lambda self, roll, facts: (
             ""
-            if self._rules.check(
+            if self._invariants.check(
                 Rule.WAVE_KEEPS_QUORUM, facts is None or facts.spare_voters >= 0, lambda: str(facts)
             )
             else "no"
@@ -901,9 +905,7 @@
 
 def test_a_copy_of_an_earlier_incarnation_is_none() -> None:
     """A machine that lost its disk and was back at once passed for whole until a leader had reported it."""
-    roll = RollingRestart(
-        "r", StartRollingRestart(id="1", restart="r"), gateways={"g0": restart.GatewayProgress()}
-    )
+    roll = RollingRestart("r", StartRollingRestart(id="1", restart="r"), gateways={"g0": GatewayProgress()})
     groups = {"G": ("g0/1", "g1/1", "g2/1")}
     for here, fault in (
         (("g0/1", "g1/1", "g2/1"), None),
@@ -912,7 +914,7 @@
         seen = view(
             0.0, 0.0, alive=frozenset(here), halls=dict.fromkeys(("g0", "g1", "g2"), "h"), groups=groups
         )
-        found = RollingRestarts(Invariants()).observe_conditions(seen, roll, ["g0"]).validate()
+        found = observe_conditions(seen, roll, ["g0"]).validate()
         assert (found and found[1]) == fault
     # One that loses its disk while it is turning clients away has no copies to leave behind; one that has
     # left has.
@@ -921,7 +923,7 @@
     )
     for stand, missing in ((GatewayPhase.EMPTYING, 1), (GatewayPhase.ACTING, 0)):
         roll.gateways["g0"].phase = stand
-        assert RollingRestarts(Invariants()).observe_conditions(lost, roll, ()).missing_copies == missing
+        assert observe_conditions(lost, roll, ()).missing_copies == missing
 
 
 def test_two_of_a_wave_that_come_to_share_a_group_leave_one_after_the_other() -> None:
@@ -932,7 +934,7 @@
         StartRollingRestart(id="1", restart="r", at_once=2),
         RestartState.RUNNING,
         gateways={
-            name: restart.GatewayProgress(GatewayPhase.EMPTYING, report="empty") for name in ("g0", "g1")
+            name: GatewayProgress(GatewayPhase.EMPTYING, report=GatewayReport.EMPTY) for name in ("g0", "g1")
         },
     )
     seen = view(
--- a/tests/gateway/cluster/test_connection_leases.py
+++ b/tests/gateway/cluster/test_connection_leases.py
@@ -16,18 +16,17 @@
 
 import pytest
 
-from badgeryoke.cluster.connection_limits import (
+from badgeryoke.cluster.connection_limits.commands import (
     ConnectionLeaseRequest,
-    ConnectionLimits,
     RequestConnectionLeases,
     SetConnectionLimit,
-    holder_id,
-    server_bucket,
 )
+from badgeryoke.cluster.connection_limits.holders import holder_id, server_bucket
+from badgeryoke.cluster.connection_limits.limits import ConnectionLimits
 from badgeryoke.cluster.errors import NoLeader
 from badgeryoke.cluster.invariants import Invariants
 from badgeryoke.cluster.node import ClusterNode, Member, NodeSetup
-from badgeryoke.cluster.rolling_restart.restart import ReadDesiredState
+from badgeryoke.cluster.rolling_restart.commands import ReadDesiredState
 from badgeryoke.cluster.state_machine.machine import GroupStateMachine
 from badgeryoke.cluster.state_machine.part import FLEET, ApplyResult, LeaderView
 from badgeryoke.cluster.timings import Timings
--- a/tests/support/cluster_history.py
+++ b/tests/support/cluster_history.py
@@ -7,7 +7,16 @@
 
 import msgspec
 
-from badgeryoke.cluster import connection_limits, key_value, unreported_usage
+from badgeryoke.cluster import key_value, unreported_usage
+from badgeryoke.cluster.connection_limits.commands import (
+    ConnectionLeaseRequest,
+    LeaseReference,
+    ReleaseConnectionLeases,
+    RemoveConnectionLimit,
+    RequestConnectionLeases,
+    SetConnectionLimit,
+)
+from badgeryoke.cluster.connection_limits.holders import server_bucket
 from badgeryoke.cluster.events import DiscardGroup, Entries, HardState, PersistRecords, Snapshot
 from badgeryoke.cluster.invariants import Invariants
 from badgeryoke.cluster.messages import COMMAND, NOTHING, LogEntry
@@ -16,7 +25,13 @@
 from badgeryoke.cluster.placement import directory
 from badgeryoke.cluster.raft.log import encode_config
 from badgeryoke.cluster.reservations import contract
-from badgeryoke.cluster.rolling_restart import restart
+from badgeryoke.cluster.rolling_restart.commands import (
+    RecordGatewayEvent,
+    RecordRestartEvent,
+    ReportGateway,
+    StartRollingRestart,
+    StartWave,
+)
 from badgeryoke.cluster.state_machine.machine import GroupStateMachine, encode
 from badgeryoke.cluster.state_machine.part import FLEET, ApplyResult, Command
 from badgeryoke.cluster.timings import Timings
@@ -26,7 +41,7 @@
 MEMBER, INCARNATION = "a", "1"
 OTHER = "g1"  # a group beside the fleet's own
 SNAPSHOT_AT = 12  # of the entries of each group lie in its snapshot, the others behind it
-BUCKET = connection_limits.server_bucket(SERVER)
+BUCKET = server_bucket(SERVER)
 TENANT, CONTRACT = "north", "payday"
 
 NIGHTLY = msgspec.structs.replace(
@@ -38,7 +53,7 @@
     surplus=True,
     windows=(contract.Window(from_ms=START_MS + 90_000, to_ms=START_MS + 900_000),),
 )
-ROLL = restart.StartRollingRestart(
+ROLL = StartRollingRestart(
     id="r1", restart="nightly", gateways=("b", "a"), reason="new version", at_once=1, warm_up_ms=500.0
 )
 
@@ -78,26 +93,26 @@
         ),
     ),
     (62_001.0, ROLL),
-    (62_002.0, restart.RecordRestartEvent(id="r2", restart="nightly", restart_version=0, event="SEEN")),
+    (62_002.0, RecordRestartEvent(id="r2", restart="nightly", restart_version=0, event="SEEN")),
     (
         62_003.0,
-        restart.RecordRestartEvent(
+        RecordRestartEvent(
             id="r3", restart="nightly", restart_version=1, event="PLANNED", order=("b", "a"), member_count=4
         ),
     ),
     (
         62_004.0,
-        restart.StartWave(id="r4", restart="nightly", restart_version=2, gateways=("b",), conditions=FACTS),
+        StartWave(id="r4", restart="nightly", restart_version=2, gateways=("b",), conditions=FACTS),
     ),
     (
         62_005.0,
-        restart.ReportGateway(
+        ReportGateway(
             id="r5", restart="nightly", gateway="b", gateway_version=1, report="ready", process="b/5"
         ),
     ),
     (
         62_200.0,
-        restart.RecordGatewayEvent(
+        RecordGatewayEvent(
             id="r6",
             restart="nightly",
             gateway="b",
@@ -109,7 +124,7 @@
     ),
     (
         62_250.0,
-        restart.ReportGateway(
+        ReportGateway(
             id="r7", restart="nightly", gateway="b", gateway_version=2, report="paused", process="b/5"
         ),
     ),
@@ -140,16 +155,12 @@
 
 
 def _connections(number: int, holder: str, held: int, keep: int, wish: int, fresh: bool) -> Command:
-    return connection_limits.RequestConnectionLeases(
+    return RequestConnectionLeases(
         id=f"s{number}",
         holder=holder,
         bucket=BUCKET,
         first_request=fresh,
-        requests=(
-            connection_limits.ConnectionLeaseRequest(
-                server=SERVER, lease_number=held, keep=keep, wanted=wish
-            ),
-        ),
+        requests=(ConnectionLeaseRequest(server=SERVER, lease_number=held, keep=keep, wanted=wish),),
     )
 
 
@@ -171,9 +182,7 @@
     ),
     (
         3.0,
-        connection_limits.SetConnectionLimit(
-            id="s1", server=SERVER, max_connections=24, idle_timeout_ms=30_000.0
-        ),
+        SetConnectionLimit(id="s1", server=SERVER, max_connections=24, idle_timeout_ms=30_000.0),
     ),
     (4.0, _connections(2, "a/1#boot.9", 0, 0, 8, False)),
     (5.0, _connections(3, "b/2#boot.7", 0, 0, 30, True)),
@@ -223,23 +232,21 @@
     ),
     (
         60_509.0,
-        connection_limits.ReleaseConnectionLeases(
+        ReleaseConnectionLeases(
             id="s4",
             holder="a/1#boot.9",
             bucket=BUCKET,
-            leases=((SERVER, 1),),
+            leases=(LeaseReference(SERVER, 1),),
             proof="reset",
             reported_by="a/1#boot.10",
         ),
     ),
     (
         60_510.0,
-        connection_limits.SetConnectionLimit(
-            id="s5", server="gone:1", max_connections=3, idle_timeout_ms=1000.0
-        ),
+        SetConnectionLimit(id="s5", server="gone:1", max_connections=3, idle_timeout_ms=1000.0),
     ),
-    (60_511.0, connection_limits.RemoveConnectionLimit(id="s6", server="gone:1")),
-    (60_512.0, connection_limits.RemoveConnectionLimit(id="s7", server="never:1")),
+    (60_511.0, RemoveConnectionLimit(id="s6", server="gone:1")),
+    (60_512.0, RemoveConnectionLimit(id="s7", server="never:1")),
     (63_500.0, contract.SwitchVersion(id="f9", tenant=TENANT, contract=CONTRACT)),
 )
 HISTORIES = {FLEET: FLEET_HISTORY, OTHER: OTHER_HISTORY}
--- a/tests/support/cluster_samples.py
+++ b/tests/support/cluster_samples.py
@@ -9,12 +9,32 @@
 
 import msgspec
 
-from badgeryoke.cluster import connection_limits, errors, key_value, messages, unreported_usage
+from badgeryoke.cluster import errors, key_value, messages, unreported_usage
 from badgeryoke.cluster.bootstrap import BootstrapRecord
+from badgeryoke.cluster.connection_limits.commands import (
+    ConnectionLeaseRequest,
+    LeaseReference,
+    ReleaseConnectionLeases,
+    RemoveConnectionLimit,
+    RequestConnectionLeases,
+    SetConnectionLimit,
+)
+from badgeryoke.cluster.connection_limits.holders import server_bucket
 from badgeryoke.cluster.placement import directory
 from badgeryoke.cluster.raft.log import encode_config
 from badgeryoke.cluster.reservations import contract
-from badgeryoke.cluster.rolling_restart import restart
+from badgeryoke.cluster.rolling_restart.commands import (
+    CancelRollingRestart,
+    ReadDesiredState,
+    ReadRollingRestarts,
+    RecordGatewayEvent,
+    RecordRestartEvent,
+    ReportGateway,
+    ResumeGateway,
+    StartRollingRestart,
+    StartWave,
+)
+from badgeryoke.cluster.rolling_restart.conditions import ClusterConditions
 from badgeryoke.cluster.state_machine.machine import decode, encode
 from badgeryoke.cluster.state_machine.part import ApplyResult, Command
 from badgeryoke.gateway.cluster.transport import frame, read
@@ -110,7 +130,7 @@
         ),
     ),
 )
-FACTS = restart.ClusterConditions(
+FACTS = ClusterConditions(
     missing_copies=0,
     spare_voters=1,
     emptied_zones=0,
@@ -207,30 +227,26 @@
     ("end-lease", contract.ReleaseLease(id="f5", tenant="north", contract="payday", holder="a/1", number=4)),
     (
         "limit",
-        connection_limits.SetConnectionLimit(
-            id="s1", server=SERVER, max_connections=24, idle_timeout_ms=30_000.0
-        ),
+        SetConnectionLimit(id="s1", server=SERVER, max_connections=24, idle_timeout_ms=30_000.0),
     ),
-    ("unlimit", connection_limits.RemoveConnectionLimit(id="s2", server=SERVER)),
+    ("unlimit", RemoveConnectionLimit(id="s2", server=SERVER)),
     (
         "connection-leases",
-        connection_limits.RequestConnectionLeases(
+        RequestConnectionLeases(
             id="s3",
             holder="a/1#boot.9",
-            bucket=connection_limits.server_bucket(SERVER),
+            bucket=server_bucket(SERVER),
             first_request=True,
-            requests=(
-                connection_limits.ConnectionLeaseRequest(server=SERVER, lease_number=3, keep=2, wanted=8),
-            ),
+            requests=(ConnectionLeaseRequest(server=SERVER, lease_number=3, keep=2, wanted=8),),
         ),
     ),
     (
         "connection-end",
-        connection_limits.ReleaseConnectionLeases(
+        ReleaseConnectionLeases(
             id="s4",
             holder="a/1#boot.9",
-            bucket=connection_limits.server_bucket(SERVER),
-            leases=((SERVER, 3),),
+            bucket=server_bucket(SERVER),
+            leases=(LeaseReference(SERVER, 3),),
             proof="reset",
             reported_by="a/1#boot.10",
         ),
@@ -246,7 +262,7 @@
     ("owed-read", unreported_usage.ReadUnreportedUsage(id="o4", tenant="north")),
     (
         "roll-ask",
-        restart.StartRollingRestart(
+        StartRollingRestart(
             id="r1",
             restart="nightly",
             gateways=("b", "a"),
@@ -259,11 +275,11 @@
             may_empty_zone=True,
         ),
     ),
-    ("roll-cancel", restart.CancelRollingRestart(id="r2", restart="nightly")),
-    ("roll-resume", restart.ResumeGateway(id="r3", restart="nightly", gateway="b", force=True)),
+    ("roll-cancel", CancelRollingRestart(id="r2", restart="nightly")),
+    ("roll-resume", ResumeGateway(id="r3", restart="nightly", gateway="b", force=True)),
     (
         "roll-turn",
-        restart.RecordRestartEvent(
+        RecordRestartEvent(
             id="r4",
             restart="nightly",
             restart_version=1,
@@ -275,11 +291,11 @@
     ),
     (
         "roll-wave",
-        restart.StartWave(id="r5", restart="nightly", restart_version=2, gateways=("b",), conditions=FACTS),
+        StartWave(id="r5", restart="nightly", restart_version=2, gateways=("b",), conditions=FACTS),
     ),
     (
         "roll-step",
-        restart.RecordGatewayEvent(
+        RecordGatewayEvent(
             id="r6",
             restart="nightly",
             gateway="b",
@@ -291,12 +307,12 @@
     ),
     (
         "roll-report",
-        restart.ReportGateway(
+        ReportGateway(
             id="r7", restart="nightly", gateway="b", gateway_version=1, report="ready", process="b/2"
         ),
     ),
-    ("roll-read", restart.ReadDesiredState(id="r8", gateway="b")),
-    ("rolls-read", restart.ReadRollingRestarts(id="r9")),
+    ("roll-read", ReadDesiredState(id="r8", gateway="b")),
+    ("rolls-read", ReadRollingRestarts(id="r9")),
 )
 
 ERRORS: tuple[errors.AnyError, ...] = (
--- a/tests/testbed/test_planted_faults.py
+++ b/tests/testbed/test_planted_faults.py
@@ -10,18 +10,15 @@
 
 import pytest
 
-from badgeryoke.cluster.connection_limits import ConnectionLeaseHolder, ConnectionLimits
+from badgeryoke.cluster.connection_limits.lease_holder import ConnectionLeaseHolder
+from badgeryoke.cluster.connection_limits.limits import ConnectionLimits
 from badgeryoke.cluster.events import OperationCompleted, PersistedGroup, RecordsPersisted, SendMessage
 from badgeryoke.cluster.key_value import PutValue
 from badgeryoke.cluster.messages import GroupConfiguration, RequestVoteReply
 from badgeryoke.cluster.raft.node import RaftNode, Role
-from badgeryoke.cluster.rolling_restart.restart import (
-    GATEWAY_TRANSITIONS,
-    ClusterConditions,
-    GatewayEvent,
-    GatewayPhase,
-    RollingRestarts,
-)
+from badgeryoke.cluster.rolling_restart.conditions import ClusterConditions
+from badgeryoke.cluster.rolling_restart.transitions import GATEWAY_TRANSITIONS, GatewayEvent, GatewayPhase
+from badgeryoke.cluster.rolling_restart.waves import RollingRestarts
 from badgeryoke.cluster.timings import Timings
 from badgeryoke.testbed.cluster_simulation.disk import Disk
 from badgeryoke.testbed.cluster_simulation.fault_plan import Plan, draw
@@ -229,7 +226,7 @@
     """A lost machine's connections count as closed when its lease is over."""
     patch.setattr(ConnectionLimits, "lease_duration_ms", lambda self: self._timings.lease_ms)
     patch.setattr(ConnectionLeaseHolder, "lease_ms", 2000.0, raising=False)
-    patch.setattr("badgeryoke.cluster.connection_limits.LEASE_MULTIPLE", 1.0)
+    patch.setattr("badgeryoke.cluster.connection_limits.lease_timing.LEASE_MULTIPLE", 1.0)
     patch.setattr(ConnectionLimits, "expiry_after_ms", lambda self, idle_ms: self._timings.outlast())
 
 
@@ -250,9 +247,8 @@
 def unwatched_copies(patch: pytest.MonkeyPatch) -> None:
     """A wave looks at no copies."""
     patch.setattr(
-        RollingRestarts,
-        "observe_conditions",
-        lambda self, view, roll, wave, leaving="": ClusterConditions(0, 1, 0, -1.0, 0.0),
+        "badgeryoke.cluster.rolling_restart.scheduler.observe_conditions",
+        lambda view, restart, wave, ending="": ClusterConditions(0, 1, 0, -1.0, 0.0),
     )
 
 
