--- a/badgeryoke/cluster/rolling_restart/plan.py
+++ b/badgeryoke/cluster/rolling_restart/plan.py
@@ -3,13 +3,23 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from typing import Any
 
+import msgspec
+
+from badgeryoke.cluster.invariants import Invariants, Rule
 from badgeryoke.cluster.rolling_restart.commands import StartRollingRestart
 from badgeryoke.cluster.rolling_restart.transitions import (
+    FINAL_PHASES,
+    GATEWAY_TRANSITIONS,
     IN_PROGRESS_PHASES,
+    PHASE_RANK,
+    RESTART_TRANSITIONS,
     UNAVAILABLE_PHASES,
+    GatewayEvent,
     GatewayPhase,
     GatewayReport,
+    RestartEvent,
     RestartState,
 )
 
@@ -30,6 +40,31 @@
     process: str = ""  # holder name of the process that runs when the wave begins
     drain_count: int = 0
 
+    def dump(self, name: str) -> list[Any]:
+        """As plain data, for a snapshot; the order is the stored format."""
+        return [
+            name,
+            self.phase.name,
+            self.version,
+            self.since_ms,
+            self.report.value if self.report is not None else "",
+            self.process,
+            self.drain_count,
+        ]
+
+    @classmethod
+    def load(cls, raw: list[Any]) -> tuple[str, GatewayProgress]:
+        """The reverse: the gateway's name and its progress."""
+        name, phase, version, since_ms, report, process, drain_count = raw
+        return name, cls(
+            GatewayPhase[phase],
+            version,
+            since_ms,
+            GatewayReport(report) if report else None,
+            process,
+            drain_count,
+        )
+
 
 @dataclass(slots=True)
 class RollingRestart:
@@ -60,3 +95,75 @@
     def poll_interval_ms(self) -> float:
         """Between two reads of the assignment by a gateway that is not in progress."""
         return max(MIN_POLL_INTERVAL_MS, POLL_INTERVAL_PER_MEMBER_MS * self.member_count)
+
+    def transition(self, at_ms: float, event: RestartEvent, cause: str = "") -> bool:
+        """Move the restart to its next state; false where the event does not belong to its state."""
+        state = RESTART_TRANSITIONS.get((self.state, event))
+        if state is None:
+            return False
+        self.state, self.since_ms, self.cause = state, at_ms, cause
+        self.version += 1
+        return True
+
+    def advance(self, at_ms: float, name: str, event: GatewayEvent, invariants: Invariants) -> bool:
+        """Move one gateway to its next phase, and finish the restart where it was the last; false where the
+        event does not belong to its phase."""
+        gateway = self.gateways[name]
+        phase = GATEWAY_TRANSITIONS.get((gateway.phase, event))
+        if phase is None:
+            return False
+        gateway.drain_count += phase is GatewayPhase.PAUSING
+        invariants.check(
+            Rule.ROLL_FORWARD,
+            PHASE_RANK[phase] > PHASE_RANK[gateway.phase] and gateway.drain_count <= 1,
+            lambda: (
+                f"{self.name}: {name} from {gateway.phase.value} to {phase.value}, "
+                f"{gateway.drain_count} drains"
+            ),
+        )
+        gateway.phase, gateway.since_ms, gateway.report = phase, at_ms, None
+        gateway.version += 1
+        self.version += 1
+        if all(other.phase in FINAL_PHASES for other in self.gateways.values()):
+            self.transition(at_ms, RestartEvent.FINISHED, self.cause)
+        return True
+
+    def summary(self) -> dict[str, Any]:
+        """For operators, by the keys of the interface."""
+        return {
+            "roll": self.name,
+            "state": self.state.value,
+            "why": self.cause,
+            "act": self.request.after_drain,
+            "reason": self.request.reason,
+            "since_ms": self.since_ms,
+            "gateways": {name: gateway.phase.value for name, gateway in self.gateways.items()},
+        }
+
+    def dump(self) -> list[Any]:
+        """As plain data, for a snapshot; the order is the stored format."""
+        return [
+            msgspec.to_builtins(self.request),
+            self.state.name,
+            self.since_ms,
+            self.cause,
+            self.version,
+            self.member_count,
+            [gateway.dump(name) for name, gateway in self.gateways.items()],
+        ]
+
+    @classmethod
+    def load(cls, raw: list[Any]) -> RollingRestart:
+        """The reverse."""
+        raw_request, state, since_ms, cause, version, member_count, gateways = raw
+        request = msgspec.convert(raw_request, StartRollingRestart)
+        return cls(
+            request.restart,
+            request,
+            RestartState[state],
+            since_ms,
+            cause,
+            version,
+            member_count,
+            dict(map(GatewayProgress.load, gateways)),
+        )
--- a/badgeryoke/cluster/rolling_restart/waves.py
+++ b/badgeryoke/cluster/rolling_restart/waves.py
@@ -14,8 +14,6 @@
 
 from typing import Any
 
-import msgspec
-
 from badgeryoke.cluster.errors import AnyError, InvalidCall, NotFound, WrongState
 from badgeryoke.cluster.invariants import Invariants, Rule
 from badgeryoke.cluster.rolling_restart.assignment import assignment_of
@@ -37,13 +35,9 @@
 from badgeryoke.cluster.rolling_restart.transitions import (
     AWAITED_REPORTS,
     ENDED_STATES,
-    FINAL_PHASES,
-    GATEWAY_TRANSITIONS,
     LEADER_EVENTS,
-    PHASE_RANK,
     REPORTED_EVENTS,
     REQUIRED_REPORTS,
-    RESTART_TRANSITIONS,
     GatewayEvent,
     GatewayPhase,
     GatewayReport,
@@ -129,41 +123,6 @@
         restart = self.active
         return [] if restart is None else self._scheduler.proposals(view, restart)
 
-    # Transitions.
-
-    def _transition(
-        self, at_ms: float, restart: RollingRestart, event: RestartEvent, cause: str = ""
-    ) -> bool:
-        """Move the restart to its next state; false where the event does not belong to its state."""
-        state = RESTART_TRANSITIONS.get((restart.state, event))
-        if state is None:
-            return False
-        restart.state, restart.since_ms, restart.cause = state, at_ms, cause
-        restart.version += 1
-        return True
-
-    def _advance(self, at_ms: float, restart: RollingRestart, name: str, event: GatewayEvent) -> bool:
-        """Move one gateway to its next phase, and finish the restart where it was the last."""
-        gateway = restart.gateways[name]
-        phase = GATEWAY_TRANSITIONS.get((gateway.phase, event))
-        if phase is None:
-            return False
-        gateway.drain_count += phase is GatewayPhase.PAUSING
-        self._invariants.check(
-            Rule.ROLL_FORWARD,
-            PHASE_RANK[phase] > PHASE_RANK[gateway.phase] and gateway.drain_count <= 1,
-            lambda: (
-                f"{restart.name}: {name} from {gateway.phase.value} to {phase.value}, "
-                f"{gateway.drain_count} drains"
-            ),
-        )
-        gateway.phase, gateway.since_ms, gateway.report = phase, at_ms, None
-        gateway.version += 1
-        restart.version += 1
-        if all(other.phase in FINAL_PHASES for other in restart.gateways.values()):
-            self._transition(at_ms, restart, RestartEvent.FINISHED, restart.cause)
-        return True
-
     # Commands of operators.
 
     def _start(self, at_ms: float, command: StartRollingRestart) -> ApplyResult:
@@ -178,11 +137,11 @@
         return ApplyResult({"roll": name, "state": RestartState.ASKED.value})
 
     def _cancel(self, at_ms: float, restart: RollingRestart) -> ApplyResult:
-        if not self._transition(at_ms, restart, RestartEvent.CANCEL, "cancelled"):
+        if not restart.transition(at_ms, RestartEvent.CANCEL, "cancelled"):
             return _refused(WrongState(restart.name, f"it is {restart.state.value}"))
         for name in restart.gateways:
-            self._advance(at_ms, restart, name, GatewayEvent.CANCEL)
-        return ApplyResult(self._summary(restart))
+            restart.advance(at_ms, name, GatewayEvent.CANCEL, self._invariants)
+        return ApplyResult(restart.summary())
 
     def _resume(self, at_ms: float, restart: RollingRestart, command: ResumeGateway) -> ApplyResult:
         if command.gateway and command.gateway not in restart.gateways:
@@ -191,7 +150,7 @@
         for name in [command.gateway] if command.gateway else list(restart.gateways):
             gateway = restart.gateways[name]
             if gateway.phase is GatewayPhase.HELD:
-                resumed += self._advance(at_ms, restart, name, GatewayEvent.RELEASE)
+                resumed += restart.advance(at_ms, name, GatewayEvent.RELEASE, self._invariants)
             elif (
                 command.force
                 and gateway.phase is GatewayPhase.EMPTYING
@@ -203,7 +162,7 @@
         if not resumed:
             nobody = "nobody there is held, or, with force, waits to become empty"
             return _refused(WrongState(restart.name, nobody))
-        return ApplyResult(self._summary(restart))
+        return ApplyResult(restart.summary())
 
     # Commands of the leader.
 
@@ -220,12 +179,12 @@
         planned = event is RestartEvent.PLANNED
         if planned and (not command.order or len(set(command.order)) < len(command.order)):
             return _refused(InvalidCall(restart.name, "order: expected gateways, each once"))
-        if not self._transition(at_ms, restart, event, command.cause):
+        if not restart.transition(at_ms, event, command.cause):
             return _refused(WrongState(restart.name, f"it is {restart.state.value}"))
         if planned:
             restart.gateways = {name: GatewayProgress(since_ms=at_ms) for name in command.order}
             restart.member_count = max(command.member_count, 1)
-        return ApplyResult(self._summary(restart))
+        return ApplyResult(restart.summary())
 
     def _check_conditions(self, restart: RollingRestart, conditions: ClusterConditions | None) -> str:
         """Why gateways may not go, empty where they may; a leader that proposes it all the same has broken an
@@ -241,8 +200,8 @@
         if problem := self._wave_problem(restart, command):
             return _refused(WrongState(restart.name, problem))
         for name in command.gateways:
-            self._advance(at_ms, restart, name, GatewayEvent.BEGIN)
-        return ApplyResult(self._summary(restart))
+            restart.advance(at_ms, name, GatewayEvent.BEGIN, self._invariants)
+        return ApplyResult(restart.summary())
 
     def _wave_problem(self, restart: RollingRestart, command: StartWave) -> str:
         if command.restart_version != restart.version or restart.state is not RestartState.RUNNING:
@@ -273,9 +232,9 @@
         assert event is not None  # LEADER_EVENTS holds no None
         if problem := self._event_problem(restart, gateway, event, command):
             return _refused(WrongState(restart.name, problem))
-        if not self._advance(at_ms, restart, command.gateway, event):
+        if not restart.advance(at_ms, command.gateway, event, self._invariants):
             return _refused(WrongState(restart.name, f"{command.gateway} is {gateway.phase.value}"))
-        return ApplyResult(self._summary(restart))
+        return ApplyResult(restart.summary())
 
     def _event_problem(
         self,
@@ -312,7 +271,7 @@
         if event is not None:
             # BACK counts from another process than the one whose wave began.
             if event is not GatewayEvent.BACK or gateway.process != command.process:
-                self._advance(at_ms, restart, command.gateway, event)
+                restart.advance(at_ms, command.gateway, event, self._invariants)
         elif report is AWAITED_REPORTS.get(gateway.phase):
             if report is GatewayReport.READY:
                 gateway.process = command.process
@@ -326,21 +285,9 @@
     def _assignment(self, name: str) -> ApplyResult:
         return ApplyResult(assignment_of(self.active, name).to_answer())
 
-    def _summary(self, restart: RollingRestart) -> dict[str, Any]:
-        """For operators, by the keys of the interface."""
-        return {
-            "roll": restart.name,
-            "state": restart.state.value,
-            "why": restart.cause,
-            "act": restart.request.after_drain,
-            "reason": restart.request.reason,
-            "since_ms": restart.since_ms,
-            "gateways": {name: gateway.phase.value for name, gateway in restart.gateways.items()},
-        }
-
     def summaries(self) -> list[dict[str, Any]]:
         """For operators: every restart that is kept."""
-        return [self._summary(restart) for restart in self.restarts.values()]
+        return [restart.summary() for restart in self.restarts.values()]
 
     def planning_horizon_ms(self) -> float:
         """How far ahead contracts count as load for the next wave: it may need its deadline twice, to drain
@@ -356,56 +303,9 @@
         """See `StateMachinePart.seen`; nothing here ends by the monotonic clock."""
 
     def dump(self) -> Any:
-        """See `StateMachinePart.dump`; the order of the lists is the stored format."""
-        return [
-            [
-                msgspec.to_builtins(restart.request),
-                restart.state.name,
-                restart.since_ms,
-                restart.cause,
-                restart.version,
-                restart.member_count,
-                [_dump_gateway(name, gateway) for name, gateway in restart.gateways.items()],
-            ]
-            for restart in self.restarts.values()
-        ]
+        """See `StateMachinePart.dump`."""
+        return [restart.dump() for restart in self.restarts.values()]
 
     def load(self, raw: Any) -> None:
         """See `StateMachinePart.load`."""
-        self.restarts = {}
-        for raw_request, state, since_ms, cause, version, member_count, gateways in raw:
-            request = msgspec.convert(raw_request, StartRollingRestart)
-            self.restarts[request.restart] = RollingRestart(
-                request.restart,
-                request,
-                RestartState[state],
-                since_ms,
-                cause,
-                version,
-                member_count,
-                dict(map(_load_gateway, gateways)),
-            )
-
-
-def _dump_gateway(name: str, gateway: GatewayProgress) -> list[Any]:
-    return [
-        name,
-        gateway.phase.name,
-        gateway.version,
-        gateway.since_ms,
-        gateway.report.value if gateway.report is not None else "",
-        gateway.process,
-        gateway.drain_count,
-    ]
-
-
-def _load_gateway(raw: list[Any]) -> tuple[str, GatewayProgress]:
-    name, phase, version, since_ms, report, process, drain_count = raw
-    return name, GatewayProgress(
-        GatewayPhase[phase],
-        version,
-        since_ms,
-        GatewayReport(report) if report else None,
-        process,
-        drain_count,
-    )
+        self.restarts = {restart.name: restart for restart in map(RollingRestart.load, raw)}
--- a/badgeryoke/cluster/state_machine/machine.py
+++ b/badgeryoke/cluster/state_machine/machine.py
@@ -70,7 +70,10 @@
     False,
 )
 REGISTRY.add(
-    "owed", unreported_usage.COMMANDS, lambda timings, rules: unreported_usage.UnreportedUsage(), False
+    "owed",
+    unreported_usage.UNREPORTED_USAGE_COMMANDS,
+    lambda timings, rules: unreported_usage.UnreportedUsage(),
+    False,
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/badgeryoke/cluster/unreported_usage.py
+++ b/badgeryoke/cluster/unreported_usage.py
@@ -1,17 +1,18 @@
-"""Units that a gateway owes the quota counter, in batches that outlive it.
+"""Usage that a gateway has yet to report to the quota counter, in batches that outlive the gateway.
 
-A gateway that cannot reach the counter hands what it owes to the group, so that whoever is left can report
-it.  A batch is reported by one at a time: it is claimed through the log before the counter is called, and
-marked as told after.
+A gateway that cannot reach the counter records what it owes as replicated state, so that any gateway that is
+left can report it.  A batch is reported by one gateway at a time: it is claimed through the log before the
+counter is called, and confirmed afterwards.
 
-Which way an unknown answer errs: a batch whose reporter called the counter and heard nothing, or died behind
-its claim, is *not* told again.  Its units may be missing at the counter, never there twice: a customer may
-then be let through for one batch more, and is never refused for what it did not use.  The hard ceiling does
-not go by these reports.
+At most once: a batch whose reporter called the counter and got no answer, or died after its claim, is *not*
+reported again.  Its units may be missing at the counter, but are never counted twice: a customer may then be
+admitted for one batch more, and is never rejected for what it did not use.  The hard ceiling does not depend
+on these reports.
 """
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import Any, ClassVar
 
 import msgspec
@@ -20,18 +21,20 @@
 from badgeryoke.cluster.messages import MemberId
 from badgeryoke.cluster.state_machine.part import ApplyResult, Command, LeaderView
 
-MAX_UNREPORTED_BYTES = (
-    24 * 1024 * 1024
-)  # of the batches in one group that are not told yet, a part of what a snapshot takes; more
-MIN_BATCH_BYTES = (
-    24 * 1024
-)  # are refused, and stay with their gateway.  A batch counts for so much: 1024 at the most
+# Of the unreported batches in one group, a part of what a snapshot takes; further ones are rejected, and stay
+# with their gateway.
+MAX_UNREPORTED_BYTES = 24 * 1024 * 1024
+MIN_BATCH_BYTES = 24 * 1024  # that a batch counts for: 1024 batches are kept at most
+BATCH_OVERHEAD_BYTES = 512  # for a batch's name and its gateways
+LINE_OVERHEAD_BYTES = 24
 MAX_LINES = 256
-MAX_BATCH_AGE_MS = 60_000.0  # the counter forgets a name after so long: a batch older than this is of no use
+MAX_NAME_CHARACTERS = 64
+MAX_UNITS = 1e9
+MAX_BATCH_AGE_MS = 60_000.0  # the counter forgets a name after so long: an older batch is of no use
 
 
 class UsageLine(msgspec.Struct, frozen=True, array_like=True):
-    """One call at the counter: a name, an amount, the life of a new name in ms."""
+    """One call to the counter: a name, an amount, and the time to live of a new name in ms."""
 
     name: str
     units: float
@@ -39,41 +42,44 @@
 
 
 class RecordUsage(Command, frozen=True, kw_only=True, tag="Owe"):
-    """`by` owes these; `id` names the batch."""
+    """`debtor` owes these; the command's `id` is the name of the batch."""
 
-    tenant: str  # by which group it is kept
+    tenant: str  # decides the group that keeps it
     debtor: MemberId = msgspec.field(name="by")
     lines: tuple[UsageLine, ...]
 
     def key(self) -> str:
+        """See `Command.key`."""
         return f"t:{self.tenant}"
 
     def validate(self) -> str:
+        """See `Command.validate`."""
         if not 0 < len(self.lines) <= MAX_LINES:
             return f"lines: expected 1 to {MAX_LINES}"
-        return next(
-            (
-                f"lines: {line.name!r}: amount or life is out of bounds"
-                for line in self.lines
-                if not (0 < len(line.name) <= 64 and abs(line.units) <= 1e9 and line.expire_ms >= 1)
-            ),
-            "",
-        )
+        for line in self.lines:
+            if not (
+                0 < len(line.name) <= MAX_NAME_CHARACTERS
+                and abs(line.units) <= MAX_UNITS
+                and line.expire_ms >= 1
+            ):
+                return f"lines: {line.name!r}: amount or life is out of bounds"
+        return ""
 
 
 class ClaimUsage(Command, frozen=True, kw_only=True, tag="Claim"):
-    """`by` is going to report a batch; the answer holds its lines, once."""
+    """`reporter` is going to report a batch; the answer holds its lines, and is given once."""
 
     tenant: str
     batch: str
     reporter: MemberId = msgspec.field(name="by")
 
     def key(self) -> str:
+        """See `Command.key`."""
         return f"t:{self.tenant}"
 
 
 class ConfirmUsageReported(Command, frozen=True, kw_only=True, tag="OwedTold"):
-    """The counter has a batch, or `known` is false: nobody knows, and it is not told again."""
+    """The counter has a batch, or `outcome_known` is false: then nobody knows, and it is not reported again."""
 
     tenant: str
     batch: str
@@ -81,125 +87,157 @@
     outcome_known: bool = msgspec.field(name="known")
 
     def key(self) -> str:
+        """See `Command.key`."""
         return f"t:{self.tenant}"
 
 
 class ReadUnreportedUsage(Command, frozen=True, kw_only=True, tag="OwedRead"):
-    """Batches that nobody has claimed, oldest first."""
+    """Names of the batches that nobody has claimed, oldest first."""
 
     reads: ClassVar[bool] = True
     tenant: str
 
     def key(self) -> str:
+        """See `Command.key`."""
         return f"t:{self.tenant}"
 
 
-COMMANDS: tuple[type[Command], ...] = (RecordUsage, ClaimUsage, ConfirmUsageReported, ReadUnreportedUsage)
+UNREPORTED_USAGE_COMMANDS: tuple[type[Command], ...] = (
+    RecordUsage,
+    ClaimUsage,
+    ConfirmUsageReported,
+    ReadUnreportedUsage,
+)
+
+
+@dataclass(slots=True)
+class UsageBatch:
+    """One unreported batch; `reporter` is empty until it is claimed."""
+
+    since_ms: float  # group's time, Unix ms
+    tenant: str
+    debtor: MemberId
+    lines: tuple[UsageLine, ...]
+    reporter: MemberId = ""
 
+    def size_bytes(self) -> int:
+        """What the batch counts for."""
+        lines = sum(len(line.name.encode()) + LINE_OVERHEAD_BYTES for line in self.lines)
+        return max(BATCH_OVERHEAD_BYTES + len(self.tenant.encode()) + lines, MIN_BATCH_BYTES)
 
-def _bytes(tenant: str, lines: tuple[UsageLine, ...]) -> int:
-    """What a batch counts for; 512: its name and gateways."""
-    return max(
-        512 + len(tenant.encode()) + sum(len(line.name.encode()) + 24 for line in lines), MIN_BATCH_BYTES
-    )
+    def units(self) -> float:
+        """Sum over its lines."""
+        return sum(line.units for line in self.lines)
+
+    def dump_lines(self) -> list[list[Any]]:
+        """The lines as plain data, for answers and snapshots."""
+        return [[line.name, line.units, line.expire_ms] for line in self.lines]
 
 
 class UnreportedUsage:
-    """The part of a group's state that holds the batches."""
+    """The unreported batches of a group.  A `StateMachinePart`."""
 
     def __init__(self) -> None:
-        self._batches: dict[
-            str, tuple[float, str, MemberId, tuple[UsageLine, ...], MemberId]
-        ] = {}  # since, tenant, by, lines, claimer
-        self._held = 0  # bytes
-        self.unknown_units = 0.0  # units of which nobody knows whether the counter has them
+        self._batches: dict[str, UsageBatch] = {}  # in the order of their arrival
+        self._total_bytes = 0
+        self.unknown_units = 0.0  # of which nobody knows whether the counter has them
 
     def apply(self, at_ms: float, command: Command) -> ApplyResult:
-        """Take a batch in, give one out, or close one."""
-        for name, batch in list(self._batches.items()):
-            if at_ms - batch[0] <= MAX_BATCH_AGE_MS:
-                break  # they lie in the order of their coming
-            self._close(name, False)
+        """See `StateMachinePart.apply`."""
+        self._drop_expired(at_ms)
         match command:
             case RecordUsage():
-                if command.id in self._batches:
-                    # its answer was forgotten, the batch was not: a claim of it goes on
-                    return ApplyResult(True)
-                more = _bytes(command.tenant, command.lines)
-                if self._held + more > MAX_UNREPORTED_BYTES:
-                    return ApplyResult(
-                        error=Overloaded(
-                            command.id, f"{MAX_UNREPORTED_BYTES} bytes of batches wait at the most"
-                        )
-                    )
-                self._held += more
-                self._batches[command.id] = at_ms, command.tenant, command.debtor, command.lines, ""
-                return ApplyResult(True)
+                return self._record(at_ms, command)
             case ClaimUsage():
-                found = self._batches.get(command.batch)
-                if found is None:
-                    return ApplyResult(error=NotFound(command.batch, "no such batch waits"))
-                if found[4]:
-                    return ApplyResult(error=WrongState(command.batch, f"{found[4]} reports it"))
-                self._batches[command.batch] = (*found[:4], command.reporter)
-                return ApplyResult([[line.name, line.units, line.expire_ms] for line in found[3]])
+                return self._claim(command)
             case ConfirmUsageReported():
-                found = self._batches.get(command.batch)
-                if found is None or found[4] != command.reporter:
-                    return ApplyResult(
-                        error=NotFound(command.batch, f"{command.reporter} does not report it")
-                    )
-                self._close(command.batch, command.outcome_known)
-                return ApplyResult(True)
+                return self._confirm(command)
         return ApplyResult(error=InvalidCall(command.id, "not a call for what is owed"))
 
-    def _close(self, name: str, known: bool) -> None:
+    def _drop_expired(self, at_ms: float) -> None:
+        for name, batch in list(self._batches.items()):
+            if at_ms - batch.since_ms <= MAX_BATCH_AGE_MS:
+                break  # the later ones are younger
+            self._close(name, outcome_known=False)
+
+    def _record(self, at_ms: float, command: RecordUsage) -> ApplyResult:
+        if command.id in self._batches:
+            # A repeat whose answer was forgotten; a claim of the batch goes on.
+            return ApplyResult(True)
+        batch = UsageBatch(at_ms, command.tenant, command.debtor, command.lines)
+        size_bytes = batch.size_bytes()
+        if self._total_bytes + size_bytes > MAX_UNREPORTED_BYTES:
+            return ApplyResult(
+                error=Overloaded(command.id, f"{MAX_UNREPORTED_BYTES} bytes of batches wait at the most")
+            )
+        self._total_bytes += size_bytes
+        self._batches[command.id] = batch
+        return ApplyResult(True)
+
+    def _claim(self, command: ClaimUsage) -> ApplyResult:
+        batch = self._batches.get(command.batch)
+        if batch is None:
+            return ApplyResult(error=NotFound(command.batch, "no such batch waits"))
+        if batch.reporter:
+            return ApplyResult(error=WrongState(command.batch, f"{batch.reporter} reports it"))
+        batch.reporter = command.reporter
+        return ApplyResult(batch.dump_lines())
+
+    def _confirm(self, command: ConfirmUsageReported) -> ApplyResult:
+        batch = self._batches.get(command.batch)
+        if batch is None or batch.reporter != command.reporter:
+            return ApplyResult(error=NotFound(command.batch, f"{command.reporter} does not report it"))
+        self._close(command.batch, command.outcome_known)
+        return ApplyResult(True)
+
+    def _close(self, name: str, outcome_known: bool) -> None:
         batch = self._batches.pop(name)
-        self._held -= _bytes(batch[1], batch[3])
-        if not known:
-            self.unknown_units += sum(line.units for line in batch[3])
+        self._total_bytes -= batch.size_bytes()
+        if not outcome_known:
+            self.unknown_units += batch.units()
 
     def query(self, command: ReadUnreportedUsage) -> ApplyResult:
-        """Read what waits."""
+        """Answer a command that only reads."""
         return ApplyResult(
-            [name for name, batch in self._batches.items() if not batch[4] and batch[1] == command.tenant]
+            [
+                name
+                for name, batch in self._batches.items()
+                if not batch.reporter and batch.tenant == command.tenant
+            ]
         )
 
     def leader_tasks(self, view: LeaderView) -> list[Command]:
-        """A claimer that is dead for good: its batch is closed as unknown."""
+        """Close the batches, as unknown, whose reporter is dead for good."""
         return [
             ConfirmUsageReported(
-                id=f"owed/{name}/lost", tenant=batch[1], batch=name, reporter=batch[4], outcome_known=False
+                id=f"owed/{name}/lost",
+                tenant=batch.tenant,
+                batch=name,
+                reporter=batch.reporter,
+                outcome_known=False,
             )
             for name, batch in self._batches.items()
-            if batch[4] and view.dead_for.get(batch[4], 0.0) >= view.timings.repair_after_ms
+            if batch.reporter and view.dead_for.get(batch.reporter, 0.0) >= view.timings.repair_after_ms
         ]
 
     def seen(self, now: float) -> None:
-        """Nothing in here ends by this machine's clock."""
+        """See `StateMachinePart.seen`; nothing here ends by this machine's clock."""
 
     def dump(self) -> Any:
-        """Plain data."""
+        """See `StateMachinePart.dump`; the order of the lists is the stored format."""
         return [
             self.unknown_units,
             [
-                [
-                    name,
-                    since,
-                    tenant,
-                    by,
-                    [[line.name, line.units, line.expire_ms] for line in lines],
-                    claimer,
-                ]
-                for name, (since, tenant, by, lines, claimer) in self._batches.items()
+                [name, batch.since_ms, batch.tenant, batch.debtor, batch.dump_lines(), batch.reporter]
+                for name, batch in self._batches.items()
             ],
         ]
 
     def load(self, raw: Any) -> None:
-        """From `dump`."""
+        """See `StateMachinePart.load`."""
         self.unknown_units, batches = raw
         self._batches = {
-            name: (since, tenant, by, tuple(UsageLine(*line) for line in lines), claimer)
-            for name, since, tenant, by, lines, claimer in batches
+            name: UsageBatch(since_ms, tenant, debtor, tuple(UsageLine(*line) for line in lines), reporter)
+            for name, since_ms, tenant, debtor, lines, reporter in batches
         }
-        self._held = sum(_bytes(tenant, lines) for _, tenant, _, lines, _ in self._batches.values())
+        self._total_bytes = sum(batch.size_bytes() for batch in self._batches.values())
--- /dev/null
+++ b/tests/support/cluster_runs.py
@@ -0,0 +1,57 @@
+"""What simulations of replicated parts share: leaders' views, drawn runs, and Hypothesis state machines."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from hypothesis import HealthCheck, settings
+from hypothesis.stateful import RuleBasedStateMachine, run_state_machine_as_test
+
+from badgeryoke.cluster.invariants import InvariantViolation, Rule
+from badgeryoke.cluster.state_machine.part import LeaderView
+from badgeryoke.cluster.timings import Timings
+
+STEP_MS = 100.0  # by which simulations advance
+CLOCK_DRIFT = 0.05
+TIMINGS = Timings(clock_drift=CLOCK_DRIFT)
+
+
+def leader_view(now: float, lead_since: float, **seen: Any) -> LeaderView:
+    """What a leader sees that has led since then: an empty cluster, but for what is given."""
+    fields: dict[str, Any] = {
+        "me": "g0/1",
+        "alive": frozenset(),
+        "dead_for": {},
+        "halls": {},
+        "load": {},
+        "groups": {},
+        "behind": {},
+        **seen,
+    }
+    return LeaderView(now=now, wall=now, lead_since=lead_since, timings=TIMINGS, **fields)
+
+
+def run_state_machine(machine: type[RuleBasedStateMachine], examples: int, steps: int) -> None:
+    """Run a Hypothesis state machine, by the same examples each time."""
+    run_state_machine_as_test(
+        machine,
+        settings=settings(
+            max_examples=examples,
+            stateful_step_count=steps,
+            deadline=None,
+            derandomize=True,
+            database=None,
+            suppress_health_check=list(HealthCheck),
+        ),
+    )
+
+
+def first_broken_rule(run: Callable[[int], object], seeds: int) -> Rule | None:
+    """The first rule that breaks in a run with one of so many seeds."""
+    for seed in range(seeds):
+        try:
+            run(seed)
+        except InvariantViolation as broken:
+            return broken.rule
+    return None
