Hold the direction of imports by import-linter contracts in make lint

Cause: nothing kept decisions and cluster free of I/O and of each other, nor the testbed out of the product. Circles between parts of a package remain in three places (the state machine and its parts, configuration and cluster settings, reserved admission and dispatcher) and are not yet held.

--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,7 @@
 	.ci-venv/bin/ruff format --check .
 	.ci-venv/bin/ruff check .
 	.ci-venv/bin/mypy
+	.ci-venv/bin/lint-imports --no-cache
 
 test: lint
 	.ci-venv/bin/python -m pytest -q
