Split the discovery and quota counter clients by job, in terms of the field

Change: discovery: endpoint_list, endpoint_table, http_response, long_poll, backoff and the polling client; quota counter: codec, connection and client; `IP:PORT` is parsed in gateway/address. Requests, time limits, order of calls and of random draws are as they were.

--- a/badgeryoke/gateway/application.py
+++ b/badgeryoke/gateway/application.py
@@ -23,7 +23,8 @@
 from badgeryoke.gateway.diameter.client_connection import DiameterListener
 from badgeryoke.gateway.diameter.peer import PeerIdentity
 from badgeryoke.gateway.diameter.upstream_connection import DiameterUpstream
-from badgeryoke.gateway.discovery.client import DiscoveryClient, Endpoint
+from badgeryoke.gateway.discovery.client import DiscoveryClient
+from badgeryoke.gateway.discovery.endpoint_list import Endpoint
 from badgeryoke.gateway.dispatcher import Dispatcher
 from badgeryoke.gateway.graceful_shutdown import GracefulShutdown, ShutdownEffect, ShutdownEvent
 from badgeryoke.gateway.graceful_shutdown import ShutdownState as Standing
@@ -227,7 +228,7 @@
         path = transfer.address(folder, self._config.name)
         taker = transfer.SnapshotReceiver(path)
         until = self._loop.time() + LIST_S  # its servers are known by discovery's names
-        while not self._hosts.heard and self._loop.time() < until:
+        while not self._hosts.notified and self._loop.time() < until:
             await asyncio.sleep(0.01)
         if (handed := await taker.ask()) is not None:
             self.core.take(handed, self._hosts.numbers)
@@ -284,11 +285,11 @@
         old = self._config
         kept = {key: getattr(old, key) for key in OF_THE_PROCESS}
         self._config = taken = replace(config, counter=config.counter or old.counter, **kept)
-        self._hosts.move(taken.discovery)
-        self._hosts.retune(taken.settings.gateway_count)
+        self._hosts.switch_address(taken.discovery)
+        self._hosts.update_settings(taken.settings.gateway_count)
         if self._counter is not None and taken.counter is not None:
-            self._counter.move(taken.counter)
-            self._counter.retune(taken.settings.counter_timeout_ms)
+            self._counter.switch_address(taken.counter)
+            self._counter.update_settings(taken.settings.counter_timeout_ms)
         for _, link in self._links.values():
             if isinstance(link, RespUpstream):
                 link.retune(
@@ -387,7 +388,7 @@
         """Whether this process can serve: an ending one cannot, a drained one could."""
         if self._drain.ending:
             return False, self._drain.state.value
-        if not self._hosts.listed:
+        if not self._hosts.has_list:
             return False, "no list of servers yet"
         return self._listening, self._drain.state.value if self._listening else "taking over"
 
@@ -524,7 +525,7 @@
     def _await_reports(self, until: float) -> None:
         """The last reports have the time that any call has: closed at once, they would be cut off."""
         if self._counter is not None:
-            if self._counter.busy and self._loop.time() < until:
+            if self._counter.has_pending_calls and self._loop.time() < until:
                 self._loop.call_later(0.02, self._await_reports, until)
                 return
             self._counter.close()
--- a/badgeryoke/gateway/cluster/service.py
+++ b/badgeryoke/gateway/cluster/service.py
@@ -52,11 +52,11 @@
 from badgeryoke.cluster.placement.directory import forced
 from badgeryoke.cluster.reservations.lease_client import ReservationClient
 from badgeryoke.cluster.state_machine.part import ApplyResult, Command
+from badgeryoke.gateway.address import parse_address
 from badgeryoke.gateway.cluster.admin_calls import STATUS, line_of, read_call
 from badgeryoke.gateway.cluster.settings import ClusterSettings
 from badgeryoke.gateway.cluster.storage import HELD, ClusterStorage, StoreWriter, open_store
 from badgeryoke.gateway.cluster.transport import ClusterTransport
-from badgeryoke.gateway.discovery.client import split_address
 
 if TYPE_CHECKING:
     from badgeryoke.gateway.cluster.connection_leases import ConnectionLeases
@@ -193,7 +193,7 @@
             setup = replace(setup, idle_ms=self.pools.idle_ms)
         self._force(opened, setup.id)
         self._writer = StoreWriter(opened, self._loop.call_soon_threadsafe, self._stored, self._store_broke)
-        addresses = {one.name: split_address(one.address) for one in self.fleet.members}
+        addresses = {one.name: parse_address(one.address) for one in self.fleet.members}
         self.links = ClusterTransport(
             self.fleet.name,
             setup.id,
@@ -233,7 +233,7 @@
 
     async def _bind(self) -> list[socket.socket]:
         """Listen on the own member's address, as soon as it is free."""
-        host, port = split_address(next(one.address for one in self.fleet.members if one.name == self.me))
+        host, port = parse_address(next(one.address for one in self.fleet.members if one.name == self.me))
         waits = False
         while not self._ended:
             try:
--- a/badgeryoke/gateway/cluster/settings.py
+++ b/badgeryoke/gateway/cluster/settings.py
@@ -11,8 +11,8 @@
 
 from badgeryoke.cluster.timings import Timings
 from badgeryoke.cluster.timings import faults as timing_faults
+from badgeryoke.gateway.address import parse_address
 from badgeryoke.gateway.config.operators_file import unknown, wrong
-from badgeryoke.gateway.discovery.client import split_address
 
 MOST_MEMBERS, MOST_GROUPS, MOST_CONNECTIONS = 256, 256, 65_535
 COPIES = (3, 5, 1)  # 1: to try it out; a promise then outlives no machine
@@ -106,7 +106,7 @@
             if those[getattr(one, kind)] > 1
         ]
         try:
-            split_address(one.address)
+            parse_address(one.address)
         except ValueError:
             found.append(f"{path}.address: expected IP:PORT, got {one.address!r}")
     if made.me and made.me not in twice["name"]:
--- a/badgeryoke/gateway/config/platform_file.py
+++ b/badgeryoke/gateway/config/platform_file.py
@@ -16,8 +16,9 @@
 
 from badgeryoke.decisions.interface import Idempotency, Settings
 from badgeryoke.decisions.settings_parser import Reader, settings_from, unknown
+from badgeryoke.gateway.address import parse_address
 from badgeryoke.gateway.config.operators_file import NAME, Operators, OperatorsError, read_operators
-from badgeryoke.gateway.discovery.client import EndpointSnapshot, read_endpoint_snapshot, split_address
+from badgeryoke.gateway.discovery.endpoint_list import EndpointSnapshot, read_endpoint_snapshot
 
 log = logging.getLogger(__name__)
 
@@ -105,7 +106,7 @@
 
 def _address(key: str, value: object) -> Address:
     try:
-        return split_address(str(value))
+        return parse_address(str(value))
     except ValueError as fault:
         raise ConfigError(f"{key}: {fault}") from None
 
--- a/badgeryoke/gateway/discovery/__init__.py
+++ b/badgeryoke/gateway/discovery/__init__.py
@@ -1,1 +1,1 @@
-"""The discovery client, which keeps the endpoint list up to date."""
+"""Service discovery: the client that keeps the endpoint list up to date."""
--- /dev/null
+++ b/badgeryoke/gateway/discovery/backoff.py
@@ -0,0 +1,74 @@
+"""How long the discovery client waits before it retries: exponential backoff with jitter.
+
+All gateways share one discovery service.  The longest pause grows with their number, so that their retries
+together stay bounded, and jitter spreads gateways that lost discovery at the same moment.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+INITIAL_PAUSE_S = 0.02
+MIN_LONGEST_PAUSE_S = 0.15  # the longest pause where gateways are few
+LONGEST_PAUSE_PER_GATEWAY_S = 0.05
+# The longest pause with any number of gateways.  After a rejected poll, 1.5 times this, then one poll that is
+# given up at its latest moment (long_poll.PROBE_WAIT_MS + RESPONSE_TIMEOUT_S), then the next pause
+# (SILENCE_PAUSE_S), come to 4.95 s of the 6 s within which a change has to be known.
+MAX_LONGEST_PAUSE_S = 2.0
+MULTIPLIER = 2
+# Jitter: a pause is multiplied by a factor from MIN_JITTER to MIN_JITTER + 1.
+MIN_JITTER = 0.5
+# After silence the next poll follows almost at once, anywhere within this time: what the agent knows counts
+# as notified from that moment, the end of an outage included, so no gateway may be without an open poll for
+# the 0.25 s that a drain leaves.
+SILENCE_PAUSE_S = 0.05
+# The longest pause where the first poll after silence is rejected: 4.05 s of the 6 s have passed.
+REJECTED_AFTER_SILENCE_PAUSE_S = 0.6
+
+
+class DiscoveryBackoff:
+    """The pause before the next poll, by what became of the polls before."""
+
+    __slots__ = ("_draw", "_pause_s", "longest_pause_s", "silent_polls")
+
+    def __init__(self, gateway_count: int, draw: Callable[[], float]) -> None:
+        """`draw` gives random numbers from 0 to 1."""
+        self._draw = draw
+        self._pause_s = INITIAL_PAUSE_S
+        self.silent_polls = 0  # consecutive ones, since the last answer of any kind
+        self.set_gateway_count(gateway_count)
+
+    def set_gateway_count(self, gateway_count: int) -> None:
+        """Adapt the longest pause to the number of gateways that share discovery."""
+        longest_s = max(MIN_LONGEST_PAUSE_S, LONGEST_PAUSE_PER_GATEWAY_S * gateway_count)
+        self.longest_pause_s = min(longest_s, MAX_LONGEST_PAUSE_S)
+        self._pause_s = min(self._pause_s, self.longest_pause_s)
+
+    def reset(self) -> None:
+        """Forget the polls before: discovery is at another address."""
+        self._pause_s, self.silent_polls = INITIAL_PAUSE_S, 0
+
+    def record_answer(self) -> None:
+        """A poll was answered with an endpoint list: halve the pause.
+
+        It is not reset, since one answer does not prove that discovery has capacity for all gateways.
+        """
+        self._pause_s, self.silent_polls = max(self._pause_s / MULTIPLIER, INITIAL_PAUSE_S), 0
+
+    def pause_after_silence_s(self) -> float:
+        """The pause after a poll that nobody answered.
+
+        It ignores the backoff, which may still be long from an earlier overload: each silent poll costs the
+        silence timeout already, and no change may be missed between two polls.
+        """
+        self.silent_polls += 1
+        return SILENCE_PAUSE_S * self._draw()
+
+    def pause_after_failure_s(self) -> float:
+        """The pause after a poll that was rejected, answered malformed, or lost with its connection."""
+        pause_s = self._pause_s * (MIN_JITTER + self._draw())
+        self._pause_s = min(self._pause_s * MULTIPLIER, self.longest_pause_s)
+        if self.silent_polls:
+            # What was missed during the silence counts already: one rejection must not use up the rest.
+            self.silent_polls, pause_s = 0, min(pause_s, REJECTED_AFTER_SILENCE_PAUSE_S)
+        return pause_s
--- /dev/null
+++ b/badgeryoke/gateway/discovery/endpoint_list.py
@@ -0,0 +1,83 @@
+"""Discovery's answers: the JSON of an endpoint list, validated and turned into typed values."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from badgeryoke.decisions.interface import EndpointState
+from badgeryoke.gateway.address import Address, parse_address
+
+# Of any number: integers are exact in a float up to here, and a JSON number has no bound of its own.
+MAX_NUMBER = 1e15
+STATES = {"active": EndpointState.UP, "leaving": EndpointState.DRAINING, "left": EndpointState.GONE}
+NO_ADDRESS: Address = ("", 0)  # of an endpoint that is gone, whose entry needs none
+
+
+@dataclass(frozen=True, slots=True)
+class Endpoint:
+    """One server as discovery names it."""
+
+    id: str
+    address: Address
+    zone: str
+    kind: str
+    cell: int
+    state: EndpointState
+    weight: float
+    started_ms: float  # Unix time
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointSnapshot:
+    """An answer of discovery: the complete endpoint list, or the changes since a version."""
+
+    version: int
+    full: bool
+    endpoints: tuple[Endpoint, ...]
+
+
+def read_endpoint_snapshot(raw: object) -> EndpointSnapshot:
+    """Validate an endpoint list, as parsed from its JSON; raises ValueError naming the key at fault."""
+    if not isinstance(raw, dict) or not isinstance(raw.get("servers"), list):
+        raise ValueError("servers: expected a list")
+    endpoints = tuple(_read_endpoint(entry) for entry in raw["servers"])
+    return EndpointSnapshot(int(_read_number(raw, "version", 0)), raw.get("full") is True, endpoints)
+
+
+def _read_endpoint(entry: object) -> Endpoint:
+    if not isinstance(entry, dict):
+        raise ValueError("servers: expected objects")
+    endpoint_id, state = entry.get("id"), entry.get("state")
+    if not isinstance(endpoint_id, str) or not isinstance(state, str) or state not in STATES:
+        raise ValueError("servers: id or state missing or unknown")
+    return Endpoint(
+        id=endpoint_id,
+        address=_read_address(entry, STATES[state]),
+        zone=str(entry.get("zone", "")),
+        kind=str(entry.get("kind", "")),
+        cell=int(_read_number(entry, "cell", 0)),
+        state=STATES[state],
+        weight=_read_number(entry, "weight", 1.0),
+        started_ms=_read_number(entry, "started_ms", 0),
+    )
+
+
+def _read_address(entry: Mapping[str, object], state: EndpointState) -> Address:
+    if state is EndpointState.GONE and "addr" not in entry:
+        return NO_ADDRESS
+    try:
+        return parse_address(str(entry.get("addr")))
+    except ValueError as error:
+        raise ValueError(f"servers: addr: {error}") from None
+
+
+def _read_number(entry: Mapping[str, object], key: str, default: float) -> float:
+    value = entry.get(key, default)
+    if (
+        isinstance(value, bool)
+        or not isinstance(value, int | float)
+        or not -MAX_NUMBER <= value <= MAX_NUMBER
+    ):
+        raise ValueError(f"{key}: expected a number")
+    return float(value)
--- a/tests/decisions/test_fleet_sums.py
+++ b/tests/decisions/test_fleet_sums.py
@@ -9,9 +9,7 @@
 import pytest
 
 from badgeryoke.decisions import interface as api
-from badgeryoke.gateway.actor import ActorScheduler
-from badgeryoke.gateway.discovery.client import DiscoveryClient
-from tests.gateway.test_dispatcher import FakeLoop
+from badgeryoke.gateway.discovery.backoff import DiscoveryBackoff
 from tests.support.policy_fleet import Fleet
 from tests.support.samples import server
 
@@ -74,16 +72,9 @@
     """When all gateways ask discovery again, which has turned all of them away at 0 and goes on doing so."""
     calls = []
     for n in range(gateways):
-        group = DiscoveryClient(
-            ("127.0.0.1", 1),
-            None,
-            ActorScheduler(FakeLoop()),
-            lambda *_: None,
-            gateways,
-            random.Random(n).random,
-        )
+        backoff = DiscoveryBackoff(gateways, random.Random(n).random)
         at, own = 0.0, []
-        while (at := at + group.pause()) < seconds:
+        while (at := at + backoff.pause_after_failure_s()) < seconds:
             own.append(at)
         calls.append(own)
     return calls
@@ -98,17 +89,19 @@
     assert max(b - a for own in calls for a, b in pairwise(own)) <= 3.0  # of the 6 s of the clock
 
 
-def test_one_answer_does_not_undo_the_back_off() -> None:
-    group = DiscoveryClient(
-        ("127.0.0.1", 1), None, ActorScheduler(FakeLoop()), lambda *_: None, 40, lambda: 0.5
+def test_one_answer_does_not_reset_the_backoff() -> None:
+    backoff = DiscoveryBackoff(40, lambda: 0.5)
+    before = [backoff.pause_after_failure_s() for _ in range(12)]
+    backoff.record_answer()
+    assert (
+        before[0] == 0.02
+        and before[-1] == backoff.longest_pause_s == 2.0
+        and backoff.pause_after_failure_s() == 1.0
     )
-    before = [group.pause() for _ in range(12)]
-    group.answered()
-    assert before[0] == 0.02 and before[-1] == group.longest == 2.0 and group.pause() == 1.0
-    group.retune(3)  # new settings: the fleet is smaller, and then larger than before
-    assert group.pause() == group.longest == pytest.approx(0.15)
-    group.retune(500)
-    assert [group.pause() for _ in range(8)][-1] == 2.0
+    backoff.set_gateway_count(3)  # new settings: the fleet is smaller, and then larger than before
+    assert backoff.pause_after_failure_s() == backoff.longest_pause_s == pytest.approx(0.15)
+    backoff.set_gateway_count(500)
+    assert [backoff.pause_after_failure_s() for _ in range(8)][-1] == 2.0
     for _ in range(20):
-        group.answered()
-    assert group.pause() == 0.02
+        backoff.record_answer()
+    assert backoff.pause_after_failure_s() == 0.02
--- a/tests/gateway/discovery/test_notification_deadline.py
+++ b/tests/gateway/discovery/test_notification_deadline.py
@@ -15,8 +15,9 @@
 
 from badgeryoke.decisions.interface import EndpointList, EndpointState, ListScope
 from badgeryoke.gateway.actor import ActorScheduler
-from badgeryoke.gateway.discovery import client as discovery_client
-from badgeryoke.gateway.discovery.client import DiscoveryClient, EndpointSnapshot
+from badgeryoke.gateway.discovery import long_poll
+from badgeryoke.gateway.discovery.client import DiscoveryClient
+from badgeryoke.gateway.discovery.endpoint_list import EndpointSnapshot
 from tests.decisions.test_fleet_sums import most_in_a_window
 from tests.support.stand_ins import HOST, Standin, entry
 
@@ -158,14 +159,17 @@
     group = DiscoveryClient(
         (HOST, 1), None, ActorScheduler(asyncio.new_event_loop()), lambda *_: None, gateways, lambda: 1.0
     )
-    pause, again = max(group.pause() for _ in range(30)), group.pause(silent=True)
-    behind_silence, later = group.pause(), group.pause()
+    pause, again = (
+        max(group.backoff.pause_after_failure_s() for _ in range(30)),
+        group.backoff.pause_after_silence_s(),
+    )
+    behind_silence, later = group.backoff.pause_after_failure_s(), group.backoff.pause_after_failure_s()
     probe, wait, whole = (
-        discovery_client.PROBE_MS / 1000,
-        discovery_client.WAIT_MS / 1000,
-        discovery_client.WHOLE_S,
+        long_poll.PROBE_WAIT_MS / 1000,
+        long_poll.LONG_POLL_WAIT_MS / 1000,
+        long_poll.RESPONSE_TIMEOUT_S,
     )
-    silent = discovery_client.SILENT_S
+    silent = long_poll.SILENCE_TIMEOUT_S
     refused_then_given_up = pause + (probe + whole) + again
     trickled = (wait + whole) + again
     silent_twice = (wait + silent) + again + (probe + silent) + again
@@ -287,7 +291,7 @@
                 await asyncio.sleep(30.0)
                 now = asyncio.get_running_loop().time()
                 for group in watching.groups:
-                    group.move((HOST, moved.port))
+                    group.switch_address((HOST, moved.port))
                 await asyncio.sleep(4.0)
                 first = [at for at in moved.calls if at < now + 0.1]
                 assert len(first) >= 200 and watching.last() < now + 0.2
@@ -303,7 +307,7 @@
             with Watching(agent.port, 200) as watching:
                 await asyncio.sleep(1.0)
                 for group in watching.groups:
-                    group.move((HOST, moved.port))
+                    group.switch_address((HOST, moved.port))
                 await asyncio.sleep(1.9)
                 moved.mood = "well"
                 await asyncio.sleep(1.5)
--- a/tests/gateway/discovery/test_responses.py
+++ b/tests/gateway/discovery/test_responses.py
@@ -16,12 +16,9 @@
 from badgeryoke.decisions.interface import ListScope
 from badgeryoke.gateway import actor
 from badgeryoke.gateway.discovery import client as discovery_client
-from badgeryoke.gateway.discovery.client import (
-    DiscoveryClient,
-    EndpointSnapshot,
-    HttpResponse,
-    read_endpoint_snapshot,
-)
+from badgeryoke.gateway.discovery.client import DiscoveryClient
+from badgeryoke.gateway.discovery.endpoint_list import EndpointSnapshot, read_endpoint_snapshot
+from badgeryoke.gateway.discovery.http_response import HttpResponse
 from tests.gateway.discovery.test_notification_deadline import Watching, play
 from tests.gateway.resp.test_client_connection import ask
 from tests.support.stand_ins import HOST, Standin, config, entry, gateway, query, resp
@@ -117,9 +114,9 @@
         async with Script(*[ENDED[how]] * 5) as agent:
             with Watching(agent.port, 1, of=200) as watching:
                 group = watching.groups[0]
-                group._back_off = group.longest  # as a crowd has left it
+                group.backoff._pause_s = group.backoff.longest_pause_s  # as a crowd has left it
                 await asyncio.sleep(3.0)
-                assert len(watching.heard[0]) == len(agent.answered) == 5 and not group._complaint
+                assert len(watching.heard[0]) == len(agent.answered) == 5 and not group._logged_fault
                 assert [call[1] for call in agent.calls] == [1, 2, 3, 4, 5, 6]
                 assert all("after=7&wait_ms=3000" in call[2] for call in agent.calls[1:])
                 gaps = [call[0] - at for call, at in zip(agent.calls[1:], agent.answered, strict=True)]
@@ -287,7 +284,7 @@
             with Watching(agent.port, 1) as watching:
                 await asyncio.sleep(0.5)
                 assert [len(members.servers) for _, members in watching.heard[0]] == [1]
-                assert watching.groups[0]._version == 7 and watching.groups[0]._silences == 0
+                assert watching.groups[0]._version == 7 and watching.groups[0].backoff.silent_polls == 0
                 assert [(call[1], call[2]) for call in agent.calls[1:]] == [
                     (1, "/api/targets?after=7&wait_ms=3000"),
                     (2, "/api/targets?after=7&wait_ms=100"),
@@ -327,7 +324,7 @@
 
 
 REFUSED = says(b"HTTP/1.1 503 No room\r\nContent-Length: 0\r\n\r\n", keep=True)
-OLD = EndpointSnapshot(3, True, read_endpoint_snapshot(json.loads(LIST)).hosts)
+OLD = EndpointSnapshot(3, True, read_endpoint_snapshot(json.loads(LIST)).endpoints)
 DRAINS = json.dumps({"version": 9, "full": True, "servers": [entry("a", 1, "leaving")]}).encode()
 
 
@@ -440,15 +437,15 @@
                     await asyncio.sleep(0.01)
                 await asyncio.sleep(0.1)
                 now = asyncio.get_running_loop().time()
-                group._silences = 9  # as an outage leaves it
-                group.move((HOST, moved.port))
+                group.backoff.silent_polls = 9  # as an outage leaves it
+                group.switch_address((HOST, moved.port))
                 await asyncio.sleep(4.0)
                 assert watching.heard[0][0][0] < now + 1.3
 
     play(test)
 
 
-@pytest.mark.parametrize("ends", [DiscoveryClient.stop, lambda group: group.move((HOST, 1))])
+@pytest.mark.parametrize("ends", [DiscoveryClient.stop, lambda group: group.switch_address((HOST, 1))])
 def test_a_close_from_this_side_ends_no_answer(ends: Callable[[DiscoveryClient], None]) -> None:
     """It looks like an orderly one: what has come of the old list is not to be taken in."""
 
--- a/tests/gateway/resp/test_golden_resp.py
+++ b/tests/gateway/resp/test_golden_resp.py
@@ -10,7 +10,7 @@
 from badgeryoke.gateway.actor import ActorScheduler
 from badgeryoke.gateway.attempt import Attempt, AttemptEnd, Request
 from badgeryoke.gateway.dispatcher import Failed, Rejected, Response, Served, Streaming
-from badgeryoke.gateway.quota_counter import client
+from badgeryoke.gateway.quota_counter.codec import encode_increment, parse_total
 from badgeryoke.gateway.resp import client_connection, upstream_connection
 from badgeryoke.gateway.resp.codec import ErrorReply, RespParser, Status, Value
 from badgeryoke.gateway.response_stream import WINDOW, BufferBudget, ResponseStream
@@ -306,8 +306,8 @@
 
 def counter_lines() -> bytes:
     """Calls as they are written, and totals as they are read."""
-    calls = [(f"{call}", client.encode(*call)) for call in COUNTER_CALLS]
-    return escaped_lines(calls) + text_lines(f"{total!r}: {client.read_total(total)}" for total in TOTALS)
+    calls = [(f"{call}", encode_increment(*call)) for call in COUNTER_CALLS]
+    return escaped_lines(calls) + text_lines(f"{total!r}: {parse_total(total)}" for total in TOTALS)
 
 
 class DiscoveryRecorder(Standin):
--- a/tests/gateway/test_counter_and_discovery.py
+++ b/tests/gateway/test_counter_and_discovery.py
@@ -9,7 +9,8 @@
 
 from badgeryoke.decisions.interface import CounterReply, EndpointList, EndpointState, ListScope, Verdict
 from badgeryoke.gateway.actor import ActorScheduler
-from badgeryoke.gateway.discovery.client import DiscoveryClient, EndpointSnapshot
+from badgeryoke.gateway.discovery.client import DiscoveryClient
+from badgeryoke.gateway.discovery.endpoint_list import EndpointSnapshot
 from badgeryoke.gateway.quota_counter.client import QuotaCounterClient
 from tests.gateway.resp.test_client_connection import play
 from tests.support.stand_ins import HOST, NOW_MS, Counter, Discovery, entry, roster
--- a/tests/gateway/test_faults_by_stage.py
+++ b/tests/gateway/test_faults_by_stage.py
@@ -131,7 +131,7 @@
         counter = self.app._counter
         assert counter is not None
         counter._closing = True
-        for one in list(counter._all):
+        for one in list(counter._connections):
             one.stream.close()
         self.app._hosts.stop()
         self.app.core._module = cast(Any, type("Dead", (), {"handle": lambda *_: []})())
@@ -146,7 +146,7 @@
         Discovery(entry("a", node.port)) as list_,
     ):
         made = World(node, counter, moved, list_)
-        await until(lambda: made.app._counter and made.app._counter._used and len(list_.calls) >= 2)
+        await until(lambda: made.app._counter and made.app._counter._active and len(list_.calls) >= 2)
         try:
             yield made
         finally:
@@ -224,7 +224,7 @@
 async def report_answered(at: World) -> None:
     await units_gathered(at)
     at.app.core.settle()
-    await until(lambda: at.counter.units == 3 and at.app._counter and not at.app._counter.busy)
+    await until(lambda: at.counter.units == 3 and at.app._counter and not at.app._counter.has_pending_calls)
 
 
 # Faults -----------------------------------------------------------------------------------------------
@@ -267,7 +267,7 @@
     at.crash()
     await asyncio.sleep(0)
     at.app = at.start()
-    await until(lambda: at.app._counter and at.app._counter._used and at.app._hosts.ready)
+    await until(lambda: at.app._counter and at.app._counter._active and at.app._hosts.ready)
 
 
 STAGES = [
@@ -331,13 +331,13 @@
             if fault is sigterm:
                 await at.app.done.wait()
                 at.app = at.start()
-                await until(lambda: at.app._counter and at.app._counter._used and at.app._hosts.ready)
+                await until(lambda: at.app._counter and at.app._counter._active and at.app._hosts.ready)
             elif fault is server_drained:
                 before = len(at.node.commands)
                 assert str(await at.ask("late")).startswith("-BUSY") and len(at.node.commands) == before
                 return
             # The quota is neither passed nor lost: what is left of it is let through, and no more.
-            await until(lambda: at.app._counter and at.app._counter._used and at.app._hosts.ready)
+            await until(lambda: at.app._counter and at.app._counter._active and at.app._hosts.ready)
             for n in range(BURST + 4):
                 at.module._quota._chance = 1.0  # the counter is sound again, and asked
                 await at.ask(f"more{n}")
--- a/tests/gateway/test_parsers.py
+++ b/tests/gateway/test_parsers.py
@@ -13,9 +13,9 @@
 from badgeryoke.gateway.config.platform_file import ConfigError, read_config, read_diameter
 from badgeryoke.gateway.diameter import codec
 from badgeryoke.gateway.diameter.duplicate_requests import DuplicateRequests, RequestIdentity
-from badgeryoke.gateway.discovery.client import HttpResponse, read_endpoint_snapshot
-from badgeryoke.gateway.quota_counter.client import encode as encode_call
-from badgeryoke.gateway.quota_counter.client import read_total
+from badgeryoke.gateway.discovery.endpoint_list import read_endpoint_snapshot
+from badgeryoke.gateway.discovery.http_response import HttpResponse
+from badgeryoke.gateway.quota_counter.codec import encode_increment, parse_total
 from badgeryoke.gateway.resp.codec import ErrorReply, RespParser, Status, bulk, command, error
 from tests.decisions.test_simulator_adapter import PARAMS
 from tests.support.paths import ROOT
@@ -124,7 +124,7 @@
 def test_an_http_response_is_read_in_any_pieces(data: bytes, keep: bool) -> None:
     response = HttpResponse()
     assert [response.feed(data[n : n + 1]) for n in range(len(data))] == [False] * (len(data) - 1) + [True]
-    assert (response.status, bytes(response.body), response.keep) == (200, BODY, keep)
+    assert (response.status, bytes(response.body), response.keep_alive) == (200, BODY, keep)
 
 
 @pytest.mark.parametrize(
@@ -175,11 +175,11 @@
     [(b"12.5", 12.5), (b"-3", -3.0), (b"nan", None), (b"x", None), (7, None), (ErrorReply(b"BUSY"), None)],
 )
 def test_a_total_is_a_finite_number_in_a_bulk_string(reply: Any, total: float | None) -> None:
-    assert read_total(reply) == total
+    assert parse_total(reply) == total
 
 
 def test_a_counter_call_is_in_bounds() -> None:
-    assert RespParser().feed(encode_call(7, -2.5, 1e6) + encode_call(7, 0.0, 0.0)) == [
+    assert RespParser().feed(encode_increment(7, -2.5, 1e6) + encode_increment(7, 0.0, 0.0)) == [
         [b"INCRTTL", b"7", b"-2.5", b"60000"],
         [b"INCRTTL", b"7", b"0", b"1"],
     ]
@@ -267,7 +267,7 @@
     made = read_config({**written(tmp_path, GOOD), "LB_LISTEN": "127.0.0.2:1"}, tmp_path)
     assert made.listen == ("127.0.0.2", 1) and made.seed == 0x8C1F and made.sockets == 512
     assert made.connect_ms == 250 and made.diameter is None
-    assert made.known is not None and made.known.hosts[0].id == "a"
+    assert made.known is not None and made.known.endpoints[0].id == "a"
 
 
 @pytest.mark.parametrize(
--- a/tests/gateway/test_quota_counter_faults.py
+++ b/tests/gateway/test_quota_counter_faults.py
@@ -18,8 +18,13 @@
 from badgeryoke.decisions.interface import CounterReply, Verdict
 from badgeryoke.gateway import actor
 from badgeryoke.gateway.actor import new_socket
-from badgeryoke.gateway.quota_counter import client as counter_module
-from badgeryoke.gateway.quota_counter.client import FROZEN_TIMES, MOST_CALLS, QuotaCounterClient
+from badgeryoke.gateway.quota_counter.client import (
+    INITIAL_BACKOFF_S,
+    MAX_BACKOFF_S,
+    MAX_PENDING_CALLS,
+    MAX_SILENT_TIMEOUTS,
+    QuotaCounterClient,
+)
 from tests.gateway.resp.test_client_connection import play
 from tests.gateway.test_counter_and_discovery import Calls
 from tests.gateway.test_service import until
@@ -30,8 +35,11 @@
 
 def empty(link: QuotaCounterClient) -> bool:
     """Whether the link holds nothing but its connection."""
-    open_calls = [call for call in link._timed if call.done is not None]
-    return not (link._unwritten or open_calls or any(one.calls for one in link._all)) and len(link._all) <= 1
+    pending = [call for call in link._pending if not call.ended]
+    return (
+        not (link._unsent or pending or any(one.in_flight for one in link._connections))
+        and len(link._connections) <= 1
+    )
 
 
 async def close(counter: Standin, reset: bool = False) -> None:
@@ -55,10 +63,10 @@
             for n in range(2, 6):
                 calls.now += 10_000.0
                 await close(counter)
-                await until(lambda n=n: counter.connections == n and calls.link._used)  # type: ignore[misc]
+                await until(lambda n=n: counter.connections == n and calls.link._active)  # type: ignore[misc]
             calls.now += 10_000.0
             await close(counter)
-            await until(lambda: calls.link._used is None)
+            await until(lambda: calls.link._active is None)
             assert (await calls.call(7)).verdict is Verdict.OK
             calls.link.close()
 
@@ -71,12 +79,12 @@
         async with Counter() as counter:
             calls = Calls(counter.port)
             await calls.up()
-            calls.link._retry = waits.append  # type: ignore[assignment, method-assign]
+            calls.link._schedule_connect = waits.append  # type: ignore[assignment, method-assign]
             await close(counter)  # it had been of use
-            await until(lambda: counter.connections == 2 and calls.link._used)
+            await until(lambda: counter.connections == 2 and calls.link._active)
             await close(counter)
             await until(lambda: waits)
-            assert counter.connections == 2 and waits == [counter_module.BACK_OFF_S[0]]
+            assert counter.connections == 2 and waits == [INITIAL_BACKOFF_S]
             calls.link.close()
 
     play(test)
@@ -114,7 +122,7 @@
             await calls.up()
             os.write(counter.writers[0].get_extra_info("socket").fileno(), unasked)
             if seen:
-                await until(lambda: counter.connections == 2 and calls.link._used)
+                await until(lambda: counter.connections == 2 and calls.link._active)
             calls.link.add(7, 3.0, 1000.0, calls.got.put_nowait)
             calls.link._loop.run()
             total = await calls.got.get()
@@ -137,14 +145,14 @@
         async with Counter() as counter:
             calls = Calls(counter.port)
             await calls.up()
-            real = calls.link._retry
-            calls.link._retry = waits.append  # type: ignore[assignment, method-assign]
+            real = calls.link._schedule_connect
+            calls.link._schedule_connect = waits.append  # type: ignore[assignment, method-assign]
             with monkeypatch.context() as full:
                 full.setattr(actor, "new_socket", none)
                 await close(counter, True)
                 await until(lambda: waits)
                 assert (await calls.call(7)).verdict is Verdict.CONNECT_FAILED
-                assert waits == [counter_module.BACK_OFF_S[1]] and empty(calls.link) and not calls.link._all
+                assert waits == [MAX_BACKOFF_S] and empty(calls.link) and not calls.link._connections
             real(0.0)
             await calls.up()
             calls.link.close()
@@ -184,16 +192,16 @@
         async with Stuck() as counter:
             counter.server.sockets[0].setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
             calls = Calls(counter.port)
-            await until(lambda: calls.link._used)
-            for n in range(MOST_CALLS):
+            await until(lambda: calls.link._active)
+            for n in range(MAX_PENDING_CALLS):
                 calls.link.add(10**17 + n, 1.0, 1000.0, calls.got.put_nowait)
             calls.link._loop.run()
-            used = calls.link._used
+            used = calls.link._active
             assert used is not None and used.stream.writing()
             first = await calls.got.get()
             assert (first.verdict, first.total) == (Verdict.OK, 1.0)
             await close(counter)
-            rest = [await calls.got.get() for _ in range(MOST_CALLS - 1)]
+            rest = [await calls.got.get() for _ in range(MAX_PENDING_CALLS - 1)]
             assert {total.verdict for total in rest} == {Verdict.TIMEOUT}
             calls.link.close()
 
@@ -214,7 +222,7 @@
             calls.now += 45.0
             calls.link.add(8, 5.0, 1000.0, calls.got.put_nowait)
             counter.writers[0].write(b"$1\r\n")  # the first piece
-            used = calls.link._used
+            used = calls.link._active
             assert used is not None
             await until(lambda: not used.parser.idle)
             calls.now += 6.0
@@ -244,21 +252,21 @@
                 ends[total.name] += 1
                 verdicts[total.verdict] += 1
 
-            for n in range(MOST_CALLS + 40):
+            for n in range(MAX_PENDING_CALLS + 40):
                 calls.link.add(100 + n, 1.0, 1000.0, done)
             await until(lambda: counter.totals["100"] and verdicts[Verdict.QUEUE_FULL] == 40)
             if silent == "reset":
                 await close(counter, True)
             elif silent == "left behind":
-                calls.link.move((HOST, moved.port))
+                calls.link.switch_address((HOST, moved.port))
                 await until(lambda: moved.connections)
-            for _ in range(int(FROZEN_TIMES) + 3):
+            for _ in range(int(MAX_SILENT_TIMEOUTS) + 3):
                 calls.now += 50.0
                 await asyncio.sleep(0.002)
-            calls.now += 50.0 * FROZEN_TIMES
+            calls.now += 50.0 * MAX_SILENT_TIMEOUTS
             await until(lambda: empty(calls.link) and counter.connections + moved.connections == 2)
-            assert set(ends.values()) == {1} and len(ends) == MOST_CALLS + 40
-            assert verdicts == {Verdict.QUEUE_FULL: 40, Verdict.TIMEOUT: MOST_CALLS}
+            assert set(ends.values()) == {1} and len(ends) == MAX_PENDING_CALLS + 40
+            assert verdicts == {Verdict.QUEUE_FULL: 40, Verdict.TIMEOUT: MAX_PENDING_CALLS}
             counter.held.set()
             await calls.up()
             calls.link.close()
@@ -274,7 +282,7 @@
         async with counter:
             calls = Calls(counter.port)
             await calls.up()
-        await until(lambda: calls.link._used is None and calls.link._coming is None)
+        await until(lambda: calls.link._active is None and calls.link._connecting is None)
         for n in range(20):
             assert (await calls.call(200 + n)).verdict is Verdict.CONNECT_FAILED
         counter.totals.clear()
--- a/tests/gateway/test_reload.py
+++ b/tests/gateway/test_reload.py
@@ -176,7 +176,7 @@
         assert (app.core.figures.reloads, app.core.figures.reload_errors) == (2, 2)
         app.pause()
         files[:] = [one]
-        assert app._hosts.longest == 2.0  # the fleet has grown, for discovery as well
+        assert app._hosts.backoff.longest_pause_s == 2.0  # the fleet has grown, for discovery as well
         app.reload()  # during a drain
         app.resume()
         assert "syntax" in str(await ask(app, query("gone", "load-send", key="k3")))
