--- a/badgeryoke/gateway/cluster/service.py
+++ b/badgeryoke/gateway/cluster/service.py
@@ -26,7 +26,6 @@
     InvariantBroken,
     NoLeader,
     Overloaded,
-    StorageFailed,
     UnknownOutcome,
 )
 from badgeryoke.cluster.events import (
@@ -54,7 +53,7 @@
 from badgeryoke.cluster.state_machine.part import ApplyResult, Command
 from badgeryoke.gateway.cluster.admin_calls import STATUS, line_of, read_call
 from badgeryoke.gateway.cluster.settings import ClusterSettings
-from badgeryoke.gateway.cluster.storage import HELD, ClusterStorage, StoreWriter, open_store
+from badgeryoke.gateway.cluster.storage import ClusterStorage, StorageLocked, StorageWriter, open_storage
 from badgeryoke.gateway.cluster.transport import ClusterTransport
 from badgeryoke.gateway.discovery.client import split_address
 
@@ -132,7 +131,7 @@
         self.failed: ClusterError | None = None  # why this member promises nothing more
         self.store_failed: ClusterError | None = None
         self.links: ClusterTransport | None = None
-        self._writer: StoreWriter | None = None
+        self._writer: StorageWriter | None = None
         self._calls: dict[str, asyncio.Future[Any]] = {}
         self._last_token = 0
         self._broken = 0
@@ -162,14 +161,14 @@
     async def _begin(self) -> None:
         folder, waits = Path(self.fleet.folder), False
         while not self._ended:
-            opened = await asyncio.to_thread(open_store, folder, self.fleet.name, self.me, self.fleet.fsync)
+            opened = await asyncio.to_thread(open_storage, folder, self.fleet.name, self.me, self.fleet.fsync)
             if isinstance(opened, ClusterStorage):
                 break
-            if not (isinstance(opened, StorageFailed) and opened.what.endswith(HELD)):
+            if not isinstance(opened, StorageLocked):
                 self._halt(opened)
                 return
             if not waits:  # the process that this one replaces, mostly
-                log.warning("%s; waiting for it", opened)
+                log.warning("%s; waiting for it", opened.error)
             waits = True
             await asyncio.sleep(AGAIN_S)
         else:
@@ -192,7 +191,7 @@
         if self.pools is not None:
             setup = replace(setup, idle_ms=self.pools.idle_ms)
         self._force(opened, setup.id)
-        self._writer = StoreWriter(opened, self._loop.call_soon_threadsafe, self._stored, self._store_broke)
+        self._writer = StorageWriter(opened, self._loop.call_soon_threadsafe, self._stored, self._store_broke)
         addresses = {one.name: split_address(one.address) for one in self.fleet.members}
         self.links = ClusterTransport(
             self.fleet.name,
@@ -203,9 +202,9 @@
             Random(secrets.randbits(64)),
         )
         self.node = self._make(
-            setup, opened.saved, Random(secrets.randbits(64)), self._now(), self.wall(), self.rules
+            setup, opened.persisted_groups, Random(secrets.randbits(64)), self._now(), self.wall(), self.rules
         )
-        opened.saved = {}  # the node's own from here on
+        opened.persisted_groups = {}  # the node's own from here on
         if self.pools is not None:
             self.pools.begin(self.node, self.rules)
             self.pools.wake = self._wake
@@ -221,13 +220,13 @@
             if self.on_floor is not None:
                 self.on_floor(self.floor, self.now)
         self.links.listen(sockets)
-        self.links.greet()
+        self.links.dial_all()
         log.info(
             "fleet %s: member %s, %d members, %d groups held",
             self.fleet.name,
             setup.id,
             len(setup.members),
-            len(opened._groups),
+            opened.group_count,
         )
         self._feed(Tick())
 
@@ -248,7 +247,7 @@
     def _force(self, disk: ClusterStorage, me: MemberId) -> None:
         """[fleet.forced]: groups that have lost their majority for good go on from this copy alone."""
         for group, lost in self.fleet.forced.items():
-            if (saved := disk.saved.get(group)) is None:
+            if (saved := disk.persisted_groups.get(group)) is None:
                 log.warning("fleet.forced.%s: this member holds no copy of it", group)
                 continue
             made = forced(saved, group, me, lost, self.wall())
@@ -268,7 +267,7 @@
                     )
                 ]
             )
-            disk.saved[group] = made
+            disk.persisted_groups[group] = made
             log.warning(
                 "fleet.forced.%s: BY HAND, the group goes on from this copy alone, without %s",
                 group,
@@ -299,7 +298,7 @@
             for effect in effects:
                 self._carry_out(effect, stores)
         if self._writer is not None:
-            self._writer.put(stores)
+            self._writer.submit(stores)
         self._arm()
 
     def _carry_out(self, effect: Effect, stores: list[PersistRecords]) -> None:
@@ -360,7 +359,7 @@
         if self._timer is not None:
             self._timer.cancel()
         if self.links is not None:
-            self.links.end()
+            self.links.close()
         for token in list(self._calls):
             self._done(token, UnknownOutcome(self.me, f"this member stopped meanwhile: {error.code}"))
 
@@ -454,9 +453,9 @@
         if self._timer is not None:
             self._timer.cancel()
         if self.links is not None and self.failed is None:
-            self.links.end()
+            self.links.close()
         if self._writer is not None:
-            self._writer.end(END_S)
+            self._writer.close(END_S)
         for token in list(self._calls):
             self._done(token, UnknownOutcome(self.me, "this member ended meanwhile"))
 
--- /dev/null
+++ b/badgeryoke/gateway/cluster/storage/store.py
@@ -0,0 +1,194 @@
+"""An open store: one transaction and one fsync for whatever many Raft groups ask to persist at once."""
+
+from __future__ import annotations
+
+import contextlib
+import os
+import sqlite3
+from collections.abc import Sequence
+from dataclasses import dataclass
+from pathlib import Path
+
+import msgspec
+
+from badgeryoke.cluster.errors import ClusterError
+from badgeryoke.cluster.events import (
+    DiscardGroup,
+    Entries,
+    HardState,
+    PersistedGroup,
+    PersistRecords,
+    Record,
+    Snapshot,
+)
+from badgeryoke.cluster.messages import LogEntry
+from badgeryoke.gateway.cluster.storage.acknowledged_counter import AcknowledgedCounter
+from badgeryoke.gateway.cluster.storage.format import (
+    DamagedRecord,
+    GroupRow,
+    StoreRow,
+    checksum,
+    entry_checksum,
+    snapshot_checksum,
+)
+
+_CLOSED = -1  # in place of the lock's descriptor
+
+
+@dataclass(slots=True)
+class ClusterStorage:
+    """An open store; every call waits for the disk.  Made by `open_storage`."""
+
+    directory: Path
+    persisted_groups: dict[str, PersistedGroup]  # as read at the opening
+    faults: list[ClusterError]  # found at the opening, for the operators
+    _row: StoreRow
+    _group_rows: dict[str, GroupRow]
+    _database: sqlite3.Connection
+    _acknowledged: AcknowledgedCounter
+    _lock_descriptor: int
+
+    @property
+    def group_count(self) -> int:
+        """Raft groups of which something is stored."""
+        return len(self._group_rows)
+
+    @property
+    def cluster(self) -> str:
+        """The cluster's name."""
+        return self._row.cluster
+
+    @property
+    def member(self) -> str:
+        """The member's name, without its incarnation."""
+        return self._row.member
+
+    @property
+    def incarnation(self) -> str:
+        """A new one for each store that was made empty."""
+        return self._row.incarnation
+
+    def write(self, requests: Sequence[PersistRecords]) -> None:
+        """Write all records in one transaction, on stable storage when this returns.
+
+        Raises sqlite3.Error, OSError or DamagedRecord; nothing may be written after that.
+        """
+        touched_groups = dict[str, None]()  # in the order first touched
+        self._database.execute("BEGIN IMMEDIATE")
+        for request in requests:
+            for record in request.records:
+                self._write_record(request.group, record)
+            touched_groups[request.group] = None
+        for group in touched_groups:
+            self._write_group_row(group)
+        self._row.transaction_number += 1
+        self._database.execute("REPLACE INTO store VALUES (1, ?, ?, ?, ?, ?, ?)", self._row.columns())
+        self._database.execute("COMMIT")
+        self._acknowledged.write(self._row.transaction_number)
+
+    def _write_group_row(self, group: str) -> None:
+        row = self._group_rows.get(group)
+        if row is None:
+            self._database.execute("DELETE FROM part WHERE grp = ?", (group,))
+            return
+        self._row.groups_checksum ^= row.row_checksum
+        row.row_checksum = row.expected_checksum(group)
+        self._row.groups_checksum ^= row.row_checksum
+        self._database.execute(
+            "REPLACE INTO part VALUES (?, ?, ?, ?, ?, ?, ?, ?, ?)", (group, *row.columns(), row.row_checksum)
+        )
+
+    def _write_record(self, group: str, record: Record) -> None:
+        match record:
+            case DiscardGroup():
+                self._discard_group(group)
+            case HardState(term, vote):
+                row = self._group_rows.setdefault(group, GroupRow())
+                row.term, row.vote = term, vote
+            case Snapshot():
+                self._write_snapshot(group, self._group_rows.setdefault(group, GroupRow()), record)
+            case Entries(entries):
+                row = self._group_rows.setdefault(group, GroupRow())
+                if entries:
+                    self._append_entries(group, row, entries)
+
+    def _discard_group(self, group: str) -> None:
+        discarded = self._group_rows.pop(group, None)
+        if discarded is not None:
+            self._row.groups_checksum ^= discarded.row_checksum
+        self._database.execute("DELETE FROM entry WHERE grp = ?", (group,))
+        self._database.execute("DELETE FROM shot WHERE grp = ?", (group,))
+
+    def _write_snapshot(self, group: str, row: GroupRow, snapshot: Snapshot) -> None:
+        self._truncate_log_before(group, row, snapshot)
+        row.snapshot_index = snapshot.index
+        configuration = msgspec.msgpack.encode(snapshot.config)
+        row.snapshot_checksum = snapshot_checksum(snapshot.index, snapshot.term, configuration, snapshot.body)
+        self._database.execute(
+            "REPLACE INTO shot VALUES (?, ?, ?, ?, ?)",
+            (group, snapshot.index, snapshot.term, configuration, snapshot.body),
+        )
+
+    def _truncate_log_before(self, group: str, row: GroupRow, snapshot: Snapshot) -> None:
+        """The log behind a snapshot stays only where it holds the entry that the snapshot ends with."""
+        key = group, snapshot.index
+        entry = self._database.execute(
+            "SELECT term, sum FROM entry WHERE grp = ? AND idx = ?", key
+        ).fetchone()
+        if snapshot.index < row.snapshot_index:
+            raise DamagedRecord(
+                f"group {group}: a snapshot to {snapshot.index} behind one to {row.snapshot_index}"
+            )
+        if entry is not None and entry[0] == snapshot.term:
+            self._database.execute("DELETE FROM entry WHERE grp = ? AND idx <= ?", key)
+            row.chain_start_checksum = entry[1]
+        elif not self._holds_snapshot(group, snapshot):
+            self._database.execute("DELETE FROM entry WHERE grp = ?", (group,))
+            row.last_index, row.last_checksum = snapshot.index, checksum(snapshot.index, snapshot.term)
+            row.chain_start_checksum = row.last_checksum
+
+    def _holds_snapshot(self, group: str, snapshot: Snapshot) -> bool:
+        """Whether the stored snapshot ends with the same entry."""
+        query = "SELECT term FROM shot WHERE grp = ? AND idx = ?"
+        found: object = self._database.execute(query, (group, snapshot.index)).fetchone()
+        return found == (snapshot.term,)
+
+    def _append_entries(self, group: str, row: GroupRow, entries: tuple[LogEntry, ...]) -> None:
+        first_index = entries[0].index
+        if not row.snapshot_index < first_index <= row.last_index + 1:
+            raise DamagedRecord(
+                f"group {group}: entry {first_index} does not join a log"
+                f" from {row.snapshot_index} to {row.last_index}"
+            )
+        chain_checksum = self._checksum_before(group, row, first_index)
+        if first_index <= row.last_index:
+            self._database.execute("DELETE FROM entry WHERE grp = ? AND idx >= ?", (group, first_index))
+        rows = []
+        for index, entry in enumerate(entries, first_index):
+            if entry.index != index:
+                raise DamagedRecord(f"group {group}: entry {entry.index} where {index} follows")
+            chain_checksum = entry_checksum(entry, chain_checksum)
+            rows.append((group, index, entry.term, entry.kind, entry.body, chain_checksum))
+        self._database.executemany("INSERT INTO entry VALUES (?, ?, ?, ?, ?, ?)", rows)
+        row.last_index, row.last_checksum = entries[-1].index, chain_checksum
+
+    def _checksum_before(self, group: str, row: GroupRow, index: int) -> int:
+        """The chain's checksum up to the entry before `index`."""
+        if index == row.last_index + 1:
+            return row.last_checksum
+        if index == row.snapshot_index + 1:
+            return row.chain_start_checksum
+        found = self._database.execute(
+            "SELECT sum FROM entry WHERE grp = ? AND idx = ?", (group, index - 1)
+        ).fetchone()
+        return int(found[0])
+
+    def close(self) -> None:
+        """Close the database and release the directory's lock; further calls do nothing."""
+        if self._lock_descriptor == _CLOSED:
+            return
+        with contextlib.suppress(sqlite3.Error):  # what was acknowledged is on disk already
+            self._database.close()
+        self._acknowledged.close()
+        os.close(self._lock_descriptor)
+        self._lock_descriptor = _CLOSED
--- /dev/null
+++ b/badgeryoke/gateway/cluster/storage/writer.py
@@ -0,0 +1,130 @@
+"""The thread that writes: requests that come while a transaction is under way go into the next one."""
+
+from __future__ import annotations
+
+import contextlib
+import queue
+import threading
+from collections import deque
+from collections.abc import Callable, Sequence
+
+from badgeryoke.cluster.errors import ClusterError, StorageFailed
+from badgeryoke.cluster.events import Entries, PersistRecords, Record, RecordsPersisted, Snapshot
+from badgeryoke.gateway.cluster.storage.store import ClusterStorage
+
+MAX_PENDING_BYTES = 64 * 1024 * 1024  # requested and not yet written; beyond it the storage counts as failed
+RECORD_OVERHEAD_BYTES = 64  # of a request, a record or an entry, about
+CLOSE_TIMEOUT_S = 1.0
+
+
+class StorageWriter:
+    """Writes off the event loop.
+
+    `on_persisted` is called on the loop, in the order requested; `on_failure` once, when nothing more is written.  The
+    thread is a daemon: a disk that hangs does not hold up the process's end.  The directory stays locked until `close`,
+    also by a storage that failed.
+    """
+
+    def __init__(
+        self,
+        storage: ClusterStorage,
+        call_soon_threadsafe: Callable[..., object],
+        on_persisted: Callable[[list[RecordsPersisted]], None],
+        on_failure: Callable[[ClusterError], None],
+    ) -> None:
+        self._storage = storage
+        self._call_soon_threadsafe = call_soon_threadsafe
+        self._on_persisted = on_persisted
+        self._on_failure = on_failure
+        self._pending: deque[PersistRecords] = deque()
+        self._pending_bytes = 0  # with those of the transaction under way
+        self._writing = False
+        self._closed = False
+        self.failure: ClusterError | None = None
+        self.transactions = 0
+        self.records = 0
+        self._batches: queue.SimpleQueue[list[PersistRecords] | None] = queue.SimpleQueue()  # None: no more
+        self._thread = threading.Thread(target=self._write_batches, name="cluster-storage", daemon=True)
+        self._thread.start()
+
+    def submit(self, requests: Sequence[PersistRecords]) -> None:
+        """Request a write; RecordsPersisted follows for each, unless the storage fails."""
+        if self.failure is not None or self._closed or not requests:
+            return
+        self._pending.extend(requests)
+        self._pending_bytes += sum(map(_request_bytes, requests))
+        if self._pending_bytes > MAX_PENDING_BYTES:
+            self._fail(
+                StorageFailed(
+                    self._storage.member,
+                    f"{self._pending_bytes} bytes wait for a disk that does not keep up",
+                )
+            )
+        else:
+            self._start_next_batch()
+
+    def _start_next_batch(self) -> None:
+        if not self._writing and self._pending and self.failure is None:
+            self._writing = True
+            batch = list(self._pending)
+            self._pending.clear()
+            self._batches.put(batch)
+
+    def _write_batches(self) -> None:
+        """The thread's body."""
+        while (batch := self._batches.get()) is not None:
+            fault: Exception | None = None
+            try:
+                self._storage.write(batch)
+            except Exception as raised:  # whatever it is, the storage has failed and the loop has to know
+                fault = raised
+            with contextlib.suppress(RuntimeError):  # the event loop is closed
+                self._call_soon_threadsafe(self._batch_written, batch, fault)
+            if fault is not None:
+                break
+
+    def _batch_written(self, batch: list[PersistRecords], fault: Exception | None) -> None:
+        self._writing = False
+        if fault is not None:
+            self._fail(StorageFailed(self._storage.member, f"{self._storage.directory}: {fault}"))
+        if self.failure is not None:
+            return
+        self._pending_bytes -= sum(map(_request_bytes, batch))
+        self.transactions += 1
+        self.records += sum(len(request.records) for request in batch)
+        self._start_next_batch()  # the disk works on while the loop handles the acknowledgements
+        self._on_persisted([RecordsPersisted(request.group, request.seq) for request in batch])
+
+    def _fail(self, error: ClusterError) -> None:
+        if self.failure is None:
+            self.failure = error
+            self._pending.clear()
+            self._batches.put(None)
+            self._on_failure(error)
+
+    def close(self, timeout_s: float = CLOSE_TIMEOUT_S) -> None:
+        """Write what was requested and close the storage; waits no longer than the timeout."""
+        if not self._closed:
+            self._closed = True
+            if self._pending and self.failure is None:
+                self._batches.put(list(self._pending))
+                self._pending.clear()
+            self._batches.put(None)
+        self._thread.join(timeout_s)
+        if not self._thread.is_alive():  # else the directory stays locked until the process is gone
+            self._storage.close()
+
+
+def _request_bytes(request: PersistRecords) -> int:
+    """Memory that a request holds, about."""
+    return RECORD_OVERHEAD_BYTES + sum(map(_record_bytes, request.records))
+
+
+def _record_bytes(record: Record) -> int:
+    match record:
+        case Entries(entries):
+            return sum(RECORD_OVERHEAD_BYTES + len(entry.body) for entry in entries)
+        case Snapshot():
+            return RECORD_OVERHEAD_BYTES + len(record.body)
+        case _:
+            return RECORD_OVERHEAD_BYTES
--- /dev/null
+++ b/badgeryoke/gateway/cluster/transport/context.py
@@ -0,0 +1,63 @@
+"""What all connections of one member share: its identity, limits, error reports, and the tasks they run in."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine
+from dataclasses import dataclass, field
+from random import Random
+
+from badgeryoke.cluster.errors import BadFrame, ClusterError, ClusterMismatch, StaleIncarnation
+from badgeryoke.cluster.messages import VERSION, Envelope, MemberId, member_name
+from badgeryoke.gateway.cluster.transport.error_reporter import ErrorReporter
+from badgeryoke.gateway.cluster.transport.frames import encode_frame, quoted
+from badgeryoke.gateway.cluster.transport.limits import TransportLimits
+
+READ_AHEAD_BYTES = 64 * 1024  # that a stream buffers beyond one frame
+
+
+@dataclass(slots=True)
+class TransportContext:
+    """Shared by a `ClusterTransport` and its connections."""
+
+    cluster: str
+    member_id: MemberId  # of this member, with its incarnation
+    limits: TransportLimits
+    errors: ErrorReporter
+    random: Random
+    closed: bool = False
+    _tasks: set[asyncio.Task[None]] = field(default_factory=set)
+
+    @property
+    def stream_buffer_bytes(self) -> int:
+        """What a stream may buffer before it is closed."""
+        return self.limits.max_frame_bytes + READ_AHEAD_BYTES
+
+    def handshake(self, to: str = "") -> bytes:
+        """An envelope without messages: handshake, heartbeat, and the answer to either."""
+        return encode_frame(Envelope(VERSION, self.cluster, self.member_id, to, ()))
+
+    def check_addressing(self, envelope: Envelope, sender: MemberId) -> ClusterError | None:
+        """Why an envelope is not from `sender` to this member; None where it is."""
+        own_name = member_name(self.member_id)
+        if envelope.sender != sender:
+            return BadFrame(sender, f"a frame of {quoted(envelope.sender)} on its link")
+        if envelope.to and member_name(envelope.to) != own_name:
+            return ClusterMismatch(
+                sender, f"it looks for {quoted(envelope.to)} here, this is {self.member_id}"
+            )
+        if envelope.to not in ("", self.member_id, own_name, f"{own_name}/"):
+            return StaleIncarnation(sender, f"it asks for {quoted(envelope.to)}, this is {self.member_id}")
+        return None
+
+    def start_task(self, work: Coroutine[object, object, None]) -> asyncio.Task[None]:
+        """Run `work` in a task that `cancel_tasks` ends."""
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    def cancel_tasks(self) -> None:
+        """Cancel all tasks; they end in the loop's next turns."""
+        for task in list(self._tasks):
+            task.cancel()
--- /dev/null
+++ b/badgeryoke/gateway/cluster/transport/frames.py
@@ -0,0 +1,79 @@
+"""Frames on the wire: a length of four bytes, big-endian, then an envelope in MessagePack."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+import msgspec
+from tornado.iostream import IOStream
+
+from badgeryoke.cluster.errors import BadFrame, ClusterError, ClusterMismatch
+from badgeryoke.cluster.messages import VERSION, AnyMessage, Envelope, MemberId
+
+LENGTH_BYTES = 4
+MAX_ENVELOPE_OVERHEAD_BYTES = 1024  # of an envelope beside its messages
+_MAX_QUOTED_NAME_CHARS = 64  # of a peer's word in an error
+_MAX_DECODE_ERROR_CHARS = 200
+
+_encoder = msgspec.msgpack.Encoder()
+_envelope_decoder = msgspec.msgpack.Decoder(Envelope)
+
+
+class _EnvelopeHeader(msgspec.Struct, array_like=True):
+    """What the envelope of every version begins with."""
+
+    version: int
+    fleet: str
+
+
+_header_decoder = msgspec.msgpack.Decoder(_EnvelopeHeader)
+
+
+def quoted(name: str) -> str:
+    """A name that a peer has sent, cut to a length that an error can hold."""
+    return repr(name[:_MAX_QUOTED_NAME_CHARS])
+
+
+def encode_message(message: AnyMessage) -> bytes:
+    """A message alone, as `encode_batch` takes it."""
+    return _encoder.encode(message)
+
+
+def encode_frame(envelope: Envelope) -> bytes:
+    """An envelope as it goes over the wire."""
+    return _with_length(_encoder.encode(envelope))
+
+
+def encode_batch(cluster: str, sender: MemberId, to: MemberId, messages: Sequence[msgspec.Raw]) -> bytes:
+    """The frame of an envelope whose messages are encoded already."""
+    # The fields of Envelope in their order: an Envelope itself would hold decoded messages.
+    return _with_length(_encoder.encode((VERSION, cluster, sender, to, messages)))
+
+
+def _with_length(body: bytes) -> bytes:
+    return len(body).to_bytes(LENGTH_BYTES, "big") + body
+
+
+def decode_envelope(body: bytes, cluster: str, peer: str) -> Envelope | ClusterError:
+    """An envelope of this version and cluster, or why it is none; `peer` is named in the error."""
+    try:
+        header = _header_decoder.decode(body)
+        if header.version != VERSION:
+            return BadFrame(peer, f"version {header.version}, this one speaks {VERSION}")
+        if header.fleet != cluster:
+            return ClusterMismatch(
+                peer, f"it belongs to fleet {quoted(header.fleet)}, this one to {cluster!r}"
+            )
+        return _envelope_decoder.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as fault:
+        return BadFrame(peer, str(fault).replace("`", "")[:_MAX_DECODE_ERROR_CHARS])
+
+
+async def read_envelope(
+    stream: IOStream, max_frame_bytes: int, cluster: str, peer: str
+) -> Envelope | ClusterError:
+    """The next frame of a connection.  Raises StreamClosedError where the connection ends."""
+    size = int.from_bytes(await stream.read_bytes(LENGTH_BYTES), "big")
+    if not 0 < size <= max_frame_bytes:
+        return BadFrame(peer, f"a frame of {size} bytes, {max_frame_bytes} are the most")
+    return decode_envelope(await stream.read_bytes(size), cluster, peer)
--- a/tests/cluster/test_golden_cluster.py
+++ b/tests/cluster/test_golden_cluster.py
@@ -46,8 +46,9 @@
 from badgeryoke.gateway.cluster.admin_calls import known, line_of, read_call
 from badgeryoke.gateway.cluster.service import ClusterService, setup_of
 from badgeryoke.gateway.cluster.settings import ClusterSettings
-from badgeryoke.gateway.cluster.storage import NAME, ClusterStorage, open_store
-from badgeryoke.gateway.cluster.transport import ClusterTransport, frame
+from badgeryoke.gateway.cluster.storage import ClusterStorage, open_storage
+from badgeryoke.gateway.cluster.storage.format import DATABASE_FILE, WAL_FILE
+from badgeryoke.gateway.cluster.transport import ClusterTransport, encode_frame
 from tests.gateway.cluster.test_service import free
 from tests.gateway.test_service import until
 from tests.support.canonical import canonical
@@ -283,7 +284,7 @@
 
 def opened(folder: Path) -> ClusterStorage:
     """The store in a folder, which must not be made anew."""
-    made = open_store(folder, CLUSTER, MEMBER, fresh=lambda: "made anew")
+    made = open_storage(folder, CLUSTER, MEMBER, new_incarnation=lambda: "made anew")
     assert isinstance(made, ClusterStorage), made
     assert not made.faults and made.incarnation == INCARNATION
     return made
@@ -303,15 +304,17 @@
     disk = opened(folder)
     disk.close()
     return {
-        "saved": {name: canonical(saved) for name, saved in sorted(disk.saved.items())},
-        "states": {name: rebuilt(name, disk.saved[name]).dump().hex() for name in ("g0", *HISTORIES)},
+        "saved": {name: canonical(saved) for name, saved in sorted(disk.persisted_groups.items())},
+        "states": {
+            name: rebuilt(name, disk.persisted_groups[name]).dump().hex() for name in ("g0", *HISTORIES)
+        },
         "rows": {table: [canonical(row) for row in rows_of(folder, table)] for table in TABLES},
     }
 
 
 def rows_of(folder: Path, table: str) -> list[tuple[Any, ...]]:
     """A table of the store, checksums included."""
-    database = sqlite3.connect(folder / NAME)
+    database = sqlite3.connect(folder / DATABASE_FILE)
     try:
         return database.execute(f"SELECT * FROM {table} ORDER BY 1, 2").fetchall()
     finally:
@@ -320,7 +323,7 @@
 
 def schema_of(folder: Path) -> list[tuple[str, str]]:
     """Tables and their columns, as SQLite has them."""
-    database = sqlite3.connect(folder / NAME)
+    database = sqlite3.connect(folder / DATABASE_FILE)
     try:
         return database.execute(
             "SELECT name, sql FROM sqlite_master WHERE sql IS NOT NULL ORDER BY name"
@@ -335,7 +338,7 @@
 
 
 def test_the_golden_store_lies_partly_in_the_write_ahead_log() -> None:
-    assert (STORE / f"{NAME}-wal").stat().st_size > 4096
+    assert (STORE / WAL_FILE).stat().st_size > 4096
 
 
 def test_the_golden_store_holds_the_history(folder: Path) -> None:
@@ -343,20 +346,21 @@
     disk = opened(folder)
     disk.close()
     for group in HISTORIES:
-        state = rebuilt(group, disk.saved[group])
+        state = rebuilt(group, disk.persisted_groups[group])
         assert state.dump().hex() == golden("cluster/histories.json")[group]["late"]
         assert (
-            disk.saved[group].snapshot is not None and disk.saved[group].entries[0].index == SNAPSHOT_AT + 1
+            disk.persisted_groups[group].snapshot is not None
+            and disk.persisted_groups[group].entries[0].index == SNAPSHOT_AT + 1
         )
 
 
 def test_the_same_records_are_written_to_the_same_rows_as_ever(folder: Path, tmp_path: Path) -> None:
     fresh = write_store(tmp_path / "fresh")
     fresh.close()
-    assert sorted(path.name for path in fresh.folder.iterdir()) == sorted({"lock", "told", NAME})
-    assert store_values(fresh.folder) == golden("store/values.json")
-    assert schema_of(fresh.folder) == schema_of(folder)
-    assert (fresh.folder / "told").read_bytes() == (folder / "told").read_bytes()
+    assert sorted(path.name for path in fresh.directory.iterdir()) == sorted({"lock", "told", DATABASE_FILE})
+    assert store_values(fresh.directory) == golden("store/values.json")
+    assert schema_of(fresh.directory) == schema_of(folder)
+    assert (fresh.directory / "told").read_bytes() == (folder / "told").read_bytes()
 
 
 # The operators' calls
@@ -468,7 +472,7 @@
 
     async def answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         hello = await next_frame(reader)
-        writer.write(frame(messages.Envelope(messages.VERSION, CLUSTER, RECEIVER, SENDER, ())))
+        writer.write(encode_frame(messages.Envelope(messages.VERSION, CLUSTER, RECEIVER, SENDER, ())))
         spoken.set_result(
             {"hello": hello, "messages": await next_frame(reader), "question": await next_frame(reader)}
         )
@@ -484,7 +488,7 @@
         try:
             return await spoken
         finally:
-            links.end()
+            links.close()
 
 
 async def answered() -> dict[str, str]:
@@ -496,14 +500,14 @@
     links.listen([listening])
     reader, writer = await asyncio.open_connection(HOST, listening.getsockname()[1])
     try:
-        hello = frame(messages.Envelope(messages.VERSION, CLUSTER, SENDER, "b", ()))
+        hello = encode_frame(messages.Envelope(messages.VERSION, CLUSTER, SENDER, "b", ()))
         writer.write(hello)
         first = await next_frame(reader)
         writer.write(hello)
         return {"hello": first, "answer": await next_frame(reader)}
     finally:
         writer.close()
-        links.end()
+        links.close()
 
 
 def link_frames() -> dict[str, dict[str, str]]:
@@ -570,7 +574,7 @@
     disk.close()
     setup = setup_of(service_section(folder), MEMBER, disk.incarnation)
     node = ClusterNode(
-        setup, disk.saved, Random(1), NODE_TIME_MS, START_MS + 80_000.0, Invariants(strict=True)
+        setup, disk.persisted_groups, Random(1), NODE_TIME_MS, START_MS + 80_000.0, Invariants(strict=True)
     )
     told: list[list[str]] = []
     for event in node_events():
@@ -594,7 +598,9 @@
     """The log of a group that goes on by hand without its other members."""
     disk = opened(folder)
     disk.close()
-    return canonical(directory.forced(disk.saved[OTHER], OTHER, "a/1", ("b/2", "c/3"), START_MS + 90_000.5))
+    return canonical(
+        directory.forced(disk.persisted_groups[OTHER], OTHER, "a/1", ("b/2", "c/3"), START_MS + 90_000.5)
+    )
 
 
 def test_a_group_that_goes_on_by_hand_has_the_same_log_as_ever(folder: Path) -> None:
--- a/tests/cluster/test_regressions.py
+++ b/tests/cluster/test_regressions.py
@@ -141,18 +141,17 @@
 from badgeryoke.cluster.state_machine.part import FLEET, ApplyResult, Command, LeaderView
 from badgeryoke.cluster.timings import Timings
 from badgeryoke.gateway.cluster.admin_calls import read_call
-from badgeryoke.gateway.cluster.storage import NAME, TOLD, ClusterStorage, open_store
-from badgeryoke.gateway.cluster.transport import read as links_read
+from badgeryoke.gateway.cluster.storage import ClusterStorage, open_storage
+from badgeryoke.gateway.cluster.storage.format import ACKNOWLEDGED_FILE, WAL_FILE
+from badgeryoke.gateway.cluster.transport import decode_envelope
 from badgeryoke.testbed.cluster_simulation.clock import UNIX_MS
 from badgeryoke.testbed.cluster_simulation.fault_plan import Plan
 from badgeryoke.testbed.cluster_simulation.world import FleetWorld, Machine
 from tests.cluster.raft.test_raft import THREE, TIMINGS, Kept, World, alone, sent, stored
-from tests.gateway.cluster.test_storage import entries, opened
-from tests.gateway.cluster.test_storage import put as store_put
-from tests.gateway.cluster.test_transport import PING, SOON, pair
-from tests.gateway.cluster.test_transport import play as links_play
 from tests.gateway.test_service import until
 from tests.support.stand_ins import HOST
+from tests.support.storage import entries, open_existing, write_records
+from tests.support.transport import PING, SHORT_TIMEOUTS, connected_pair, run_with_timeout
 
 EMPTY = msgspec.msgpack.encode([])
 
@@ -914,26 +913,26 @@
     ],
 )
 def test_a_row_that_is_not_as_it_was_written_makes_a_newcomer(tmp_path: Path, spoil: str) -> None:
-    disk = opened(tmp_path)
-    store_put(disk, "g", HardState(3, "b/1"), entries(1, 5), Snapshot(2, 1, THREE, b"x"))
-    store_put(disk, "h", Snapshot(7, 1, THREE, b"y"))
-    disk._db.execute("CREATE TABLE old AS SELECT * FROM entry WHERE grp = 'g' AND idx = 4")
-    store_put(disk, "g", entries(4, 5, 2))
-    disk._db.execute(spoil)
-    disk._db.execute("DROP TABLE old")
+    disk = open_existing(tmp_path)
+    write_records(disk, "g", HardState(3, "b/1"), entries(1, 5), Snapshot(2, 1, THREE, b"x"))
+    write_records(disk, "h", Snapshot(7, 1, THREE, b"y"))
+    disk._database.execute("CREATE TABLE old AS SELECT * FROM entry WHERE grp = 'g' AND idx = 4")
+    write_records(disk, "g", entries(4, 5, 2))
+    disk._database.execute(spoil)
+    disk._database.execute("DROP TABLE old")
     disk.close()
-    back = opened(tmp_path, word="2")
-    assert back.incarnation == "2" and not back.saved
+    back = open_existing(tmp_path, incarnation="2")
+    assert back.incarnation == "2" and not back.persisted_groups
     assert [type(one) for one in back.faults] == [StorageDamaged]
     back.close()
 
 
 def test_each_transaction_is_synced(tmp_path: Path) -> None:
     for fsync, level in ((True, 2), (False, 0)):
-        made = open_store(tmp_path / str(fsync), "f", "a", fsync)
-        assert isinstance(made, ClusterStorage) and made._db.execute("PRAGMA synchronous").fetchone() == (
-            level,
-        )
+        made = open_storage(tmp_path / str(fsync), "f", "a", fsync)
+        assert isinstance(made, ClusterStorage) and made._database.execute(
+            "PRAGMA synchronous"
+        ).fetchone() == (level,)
         made.close()
 
 
@@ -941,44 +940,47 @@
 def test_a_break_before_the_last_commit_is_no_tear(tmp_path: Path, broken: int, kept: int) -> None:
     """Without the count, which may be old after the machine's death: of five commits, the one at which it
     breaks."""
-    disk = opened(tmp_path / "live")
-    told, ends = (tmp_path / "live" / TOLD).read_bytes(), [0]
+    disk = open_existing(tmp_path / "live")
+    told, ends = (tmp_path / "live" / ACKNOWLEDGED_FILE).read_bytes(), [0]
     for number in range(1, 6):
-        store_put(disk, "g", entries(number, number))
-        ends.append((tmp_path / "live" / f"{NAME}-wal").stat().st_size)
+        write_records(disk, "g", entries(number, number))
+        ends.append((tmp_path / "live" / WAL_FILE).stat().st_size)
     shutil.copytree(tmp_path / "live", tmp_path / "dead", ignore=shutil.ignore_patterns("*-shm", "lock"))
     disk.close()
-    raw = bytearray((tmp_path / "dead" / f"{NAME}-wal").read_bytes())
+    raw = bytearray((tmp_path / "dead" / WAL_FILE).read_bytes())
     raw[ends[broken] + 1000] ^= 1
-    (tmp_path / "dead" / f"{NAME}-wal").write_bytes(raw)
-    (tmp_path / "dead" / TOLD).write_bytes(told)
-    back = opened(tmp_path / "dead", word="2")
+    (tmp_path / "dead" / WAL_FILE).write_bytes(raw)
+    (tmp_path / "dead" / ACKNOWLEDGED_FILE).write_bytes(told)
+    back = open_existing(tmp_path / "dead", incarnation="2")
     assert back.incarnation == ("1" if kept else "2")
-    assert not kept or len(back.saved["g"].entries) == kept
+    assert not kept or len(back.persisted_groups["g"].entries) == kept
     back.close()
 
 
 def test_another_version_is_turned_away() -> None:
     for version in (VERSION - 1, VERSION + 1):
         sent = msgspec.msgpack.encode(Envelope(version, "f", "a/1", "b", ()))
-        assert isinstance(links_read(sent, "f", "a"), BadFrame)
+        assert isinstance(decode_envelope(sent, "f", "a"), BadFrame)
 
 
 def test_who_is_not_there_is_dialled_with_pauses_and_connections_taken_are_bounded() -> None:
     async def test() -> None:
-        async with pair() as (here, there):
-            peer = here.links.peers["b"]
+        async with connected_pair() as (here, there):
+            peer = here.transport.peers["b"]
             peer.address = HOST, 1
-            here.links.send("b/1", PING)
-            await until(lambda: peer.task is None)
-            assert peer.pause >= SOON.again_least_s and peer.not_before > 0.0
+            here.transport.send("b/1", PING)
+            await until(lambda: peer.send_task is None)
+            assert (
+                peer.reconnect_backoff_s >= SHORT_TIMEOUTS.min_reconnect_backoff_s
+                and peer.reconnect_at_s > 0.0
+            )
             held = [await asyncio.open_connection(HOST, there.port) for _ in range(16)]
-            await until(lambda: bool(there.links._inbound))
-            assert len(there.links._inbound) <= 2 * len(there.links.peers) + 8
+            await until(lambda: bool(there.transport.inbound_connection_count))
+            assert there.transport.inbound_connection_count <= 2 * len(there.transport.peers) + 8
             for _, writer in held:
                 writer.close()
 
-    links_play(test)
+    run_with_timeout(test)
 
 
 # Rolls, as the log holds them
--- a/tests/gateway/cluster/test_service.py
+++ b/tests/gateway/cluster/test_service.py
@@ -44,7 +44,7 @@
 from badgeryoke.gateway.cluster.admin_calls import line_of, read_call
 from badgeryoke.gateway.cluster.service import ClusterService, setup_of
 from badgeryoke.gateway.cluster.settings import ClusterSettings
-from badgeryoke.gateway.cluster.storage import ClusterStorage, StoreWriter, open_store
+from badgeryoke.gateway.cluster.storage import ClusterStorage, StorageWriter, open_storage
 from badgeryoke.gateway.config.operators_file import Operators, OperatorsError, read_operators
 from badgeryoke.gateway.config.platform_file import ConfigError
 from tests.gateway.test_service import until
@@ -307,7 +307,7 @@
             )
             assert made._writer.transactions == 1 and "asked: of n" in caplog.text
             assert made.links is not None
-            made.links._receive("b/1", (RequestVoteReply("g", 1, True, False),))
+            made._received("b/1", (RequestVoteReply("g", 1, True, False),))
             assert node.seen(MessageReceived) == [
                 MessageReceived("b/1", RequestVoteReply("g", 1, True, False))
             ]
@@ -423,7 +423,7 @@
     monkeypatch.setattr(service_module, "AGAIN_S", 0.01)
 
     async def test() -> None:
-        held = open_store(tmp_path / "s", "f", "a")
+        held = open_storage(tmp_path / "s", "f", "a")
         assert isinstance(held, ClusterStorage)
         made = ClusterService(section(tmp_path), "a", make=Script)
         made.start()
@@ -446,7 +446,7 @@
     tmp_path: Path, caplog: pytest.LogCaptureFixture
 ) -> None:
     me, others = "a/x1", ("b/1", "c/1")
-    disk = open_store(tmp_path / "s", "f", "a", fresh=lambda: "x1")
+    disk = open_storage(tmp_path / "s", "f", "a", new_incarnation=lambda: "x1")
     assert isinstance(disk, ClusterStorage)
     disk.write(
         [
@@ -524,7 +524,7 @@
                 app.end()
                 await app.done.wait()
                 assert len(script.seen(LeaveCluster)) == 1
-                again = open_store(tmp_path / "s", "f", "a")  # let go
+                again = open_storage(tmp_path / "s", "f", "a")  # let go
                 assert isinstance(again, ClusterStorage)
                 again.close()
 
@@ -533,11 +533,11 @@
 
 
 def test_a_writer_that_has_ended_takes_nothing(tmp_path: Path) -> None:
-    disk = open_store(tmp_path / "s", "f", "a")
+    disk = open_storage(tmp_path / "s", "f", "a")
     assert isinstance(disk, ClusterStorage)
-    writer = StoreWriter(disk, lambda *_: None, lambda _: None, lambda _: None)
-    writer.end(10)
-    writer.put([PersistRecords("g", 1, (HardState(1, ""),))])
-    again = open_store(tmp_path / "s", "f", "a")
-    assert isinstance(again, ClusterStorage) and not again.saved
+    writer = StorageWriter(disk, lambda *_: None, lambda _: None, lambda _: None)
+    writer.close(10)
+    writer.submit([PersistRecords("g", 1, (HardState(1, ""),))])
+    again = open_storage(tmp_path / "s", "f", "a")
+    assert isinstance(again, ClusterStorage) and not again.persisted_groups
     again.close()
--- a/tests/gateway/cluster/test_storage.py
+++ b/tests/gateway/cluster/test_storage.py
@@ -23,42 +23,22 @@
     RecordsPersisted,
     Snapshot,
 )
-from badgeryoke.cluster.messages import COMMAND, GroupConfiguration, LogEntry
-from badgeryoke.gateway.cluster.storage import MOST_KEPT, NAME, TOLD, ClusterStorage, StoreWriter, open_store
+from badgeryoke.cluster.messages import GroupConfiguration
+from badgeryoke.gateway.cluster.storage import ClusterStorage, StorageLocked, StorageWriter, open_storage
+from badgeryoke.gateway.cluster.storage.format import ACKNOWLEDGED_FILE, DATABASE_FILE, WAL_FILE
+from badgeryoke.gateway.cluster.storage.opening import MAX_DAMAGED_STORES
+from tests.support.storage import entries, entry, open_existing, reopened, write_records
 
 CONFIG = GroupConfiguration(("a/1", "b/1", "c/1"))
 
 
-def entry(index: int, term: int = 1, size: int = 40) -> LogEntry:
-    return LogEntry(index, term, COMMAND, bytes([index % 256]) * size)
-
-
-def entries(first: int, last: int, term: int = 1, size: int = 40) -> Entries:
-    return Entries(tuple(entry(n, term, size) for n in range(first, last + 1)))
-
-
-def opened(folder: Path, member: str = "a", fleet: str = "f", word: str = "1") -> ClusterStorage:
-    made = open_store(folder, fleet, member, fresh=lambda: word)
-    assert isinstance(made, ClusterStorage), made
-    return made
-
-
-def put(disk: ClusterStorage, group: str, *records: Record) -> None:
-    disk.write([PersistRecords(group, 0, records)])
-
-
 @pytest.fixture
-def disk(tmp_path: Path) -> Iterator[ClusterStorage]:
-    made = opened(tmp_path / "s")
+def storage(tmp_path: Path) -> Iterator[ClusterStorage]:
+    made = open_existing(tmp_path / "s")
     yield made
     made.close()
 
 
-def again(disk: ClusterStorage, word: str = "2") -> ClusterStorage:
-    disk.close()
-    return opened(disk.folder, word=word)
-
-
 # What it gives back
 # ---------------------------------------------------------------------------------------------------
 
@@ -99,26 +79,27 @@
     ],
 )
 def test_what_was_written_comes_back(
-    disk: ClusterStorage, records: list[Record], saved: PersistedGroup
+    storage: ClusterStorage, records: list[Record], saved: PersistedGroup
 ) -> None:
     """One transaction a record, and all records in one."""
     for record in records:
-        put(disk, "g", record)
-    put(disk, "h", *records)
-    put(disk, "gone", *records)
-    put(disk, "gone", DiscardGroup())
-    back = again(disk)
-    assert back.saved == {"g": saved, "h": saved} and back.incarnation == "1" and not back.faults
-    put(back, "g", HardState(9, "z/1"))  # the chain goes on from what was read
+        write_records(storage, "g", record)
+    write_records(storage, "h", *records)
+    write_records(storage, "gone", *records)
+    write_records(storage, "gone", DiscardGroup())
+    back = reopened(storage)
+    assert back.persisted_groups == {"g": saved, "h": saved} and back.incarnation == "1" and not back.faults
+    write_records(back, "g", HardState(9, "z/1"))  # the chain goes on from what was read
     last = (
-        back.saved["g"].entries[-1].index
-        if back.saved["g"].entries
-        else (back.saved["g"].snapshot.index if back.saved["g"].snapshot else 0)
+        back.persisted_groups["g"].entries[-1].index
+        if back.persisted_groups["g"].entries
+        else (back.persisted_groups["g"].snapshot.index if back.persisted_groups["g"].snapshot else 0)
     )
-    put(back, "g", entries(last + 1, last + 2, 7))
-    third = again(back)
+    write_records(back, "g", entries(last + 1, last + 2, 7))
+    third = reopened(back)
     assert (
-        third.saved["g"].term == 9 and third.saved["g"].entries[-2:] == entries(last + 1, last + 2, 7).entries
+        third.persisted_groups["g"].term == 9
+        and third.persisted_groups["g"].entries[-2:] == entries(last + 1, last + 2, 7).entries
     )
     third.close()
 
@@ -126,12 +107,12 @@
 @pytest.mark.parametrize(
     "record", [entries(7, 7), entries(0, 1), Entries((entry(6), entry(8))), Snapshot(1, 1, CONFIG, b"")]
 )
-def test_a_hole_in_a_log_is_never_written(disk: ClusterStorage, record: Record) -> None:
-    put(disk, "g", entries(1, 5), Snapshot(2, 1, CONFIG, b"x"))
+def test_a_hole_in_a_log_is_never_written(storage: ClusterStorage, record: Record) -> None:
+    write_records(storage, "g", entries(1, 5), Snapshot(2, 1, CONFIG, b"x"))
     with pytest.raises(Exception, match="group g"):
-        put(disk, "g", record)
-    back = again(disk)
-    assert back.saved["g"].entries == entries(3, 5).entries
+        write_records(storage, "g", record)
+    back = reopened(storage)
+    assert back.persisted_groups["g"].entries == entries(3, 5).entries
     back.close()
 
 
@@ -141,216 +122,231 @@
 
 def filled(folder: Path, count: int = 60) -> dict[str, PersistedGroup]:
     """A store as a killed process leaves it: a part brought in, a part in the write-ahead log."""
-    disk = opened(folder / "live")
+    storage = open_existing(folder / "live")
     for n in range(1, count + 1):
-        disk.write(
+        storage.write(
             [PersistRecords(group, n, (HardState(n, "b/1"), entries(n, n, size=900))) for group in ("g", "h")]
         )
         if n == count - 4:
-            put(disk, "g", Snapshot(5, 1, CONFIG, b"body" * 50))
-            disk._db.execute("PRAGMA wal_checkpoint(TRUNCATE)")
+            write_records(storage, "g", Snapshot(5, 1, CONFIG, b"body" * 50))
+            storage._database.execute("PRAGMA wal_checkpoint(TRUNCATE)")
     shutil.copytree(folder / "live", folder / "dead", ignore=shutil.ignore_patterns("*-shm", "lock"))
-    disk.close()
-    back = opened(folder / "live")
+    storage.close()
+    back = open_existing(folder / "live")
     back.close()
-    return back.saved
+    return back.persisted_groups
 
 
-@pytest.mark.parametrize("name", [NAME, f"{NAME}-wal", TOLD])
+@pytest.mark.parametrize("name", [DATABASE_FILE, WAL_FILE, ACKNOWLEDGED_FILE])
 def test_a_flipped_bit_makes_a_newcomer_or_changes_nothing(tmp_path: Path, name: str) -> None:
     """Never anything between: no entry, vote or snapshot that is not as it was written, none missing."""
     saved = filled(tmp_path)
     raw = (tmp_path / "dead" / name).read_bytes()
     draw, newcomers = random.Random(7), 0
-    for round_ in range(70 if name != TOLD else 12):
+    for round_ in range(70 if name != ACKNOWLEDGED_FILE else 12):
         folder = tmp_path / str(round_)
         shutil.copytree(tmp_path / "dead", folder)
         spoilt, bit = bytearray(raw), draw.randrange(len(raw) * 8)
         spoilt[bit // 8] ^= 1 << bit % 8
         (folder / name).write_bytes(spoilt)
-        back = opened(folder, word="2")
+        back = open_existing(folder, incarnation="2")
         if back.incarnation == "1":
-            assert back.saved == saved and not back.faults, bit
+            assert back.persisted_groups == saved and not back.faults, bit
         else:
             newcomers += 1
-            assert not back.saved and [type(one) for one in back.faults] == [errors.StorageDamaged], bit
+            assert not back.persisted_groups and [type(one) for one in back.faults] == [
+                errors.StorageDamaged
+            ], bit
             [kept] = folder.glob("damaged-*")
-            assert (kept / NAME).exists()
-            put(back, "g", entries(1, 2))
+            assert (kept / DATABASE_FILE).exists()
+            write_records(back, "g", entries(1, 2))
         back.close()
         shutil.rmtree(folder)
     assert newcomers > 5
 
 
 def cut_at(folder: Path, keep: int) -> None:
-    wal = folder / f"{NAME}-wal"
+    wal = folder / WAL_FILE
     wal.write_bytes(wal.read_bytes()[:keep])
 
 
 def test_a_torn_tail_is_cut_where_it_was_not_acknowledged(tmp_path: Path) -> None:
-    disk = opened(tmp_path / "live")
-    put(disk, "g", entries(1, 4))
-    told = (tmp_path / "live" / TOLD).read_bytes()
-    before = (tmp_path / "live" / f"{NAME}-wal").stat().st_size
-    put(disk, "g", entries(5, 6))
+    storage = open_existing(tmp_path / "live")
+    write_records(storage, "g", entries(1, 4))
+    told = (tmp_path / "live" / ACKNOWLEDGED_FILE).read_bytes()
+    before = (tmp_path / "live" / WAL_FILE).stat().st_size
+    write_records(storage, "g", entries(5, 6))
     for name, keep in (("torn", before + 900), ("flipped", 0)):
         shutil.copytree(tmp_path / "live", tmp_path / name, ignore=shutil.ignore_patterns("*-shm", "lock"))
         if keep:
             cut_at(tmp_path / name, keep)
-    disk.close()
-    (tmp_path / "torn" / TOLD).write_bytes(told)  # the power went between the tear and the answer
-    torn = opened(tmp_path / "torn", word="2")
-    assert torn.incarnation == "1" and torn.saved["g"].entries == entries(1, 4).entries and not torn.faults
+    storage.close()
+    (tmp_path / "torn" / ACKNOWLEDGED_FILE).write_bytes(
+        told
+    )  # the power went between the tear and the answer
+    torn = open_existing(tmp_path / "torn", incarnation="2")
+    assert (
+        torn.incarnation == "1"
+        and torn.persisted_groups["g"].entries == entries(1, 4).entries
+        and not torn.faults
+    )
     torn.close()
     cut_at(tmp_path / "flipped", before + 900)  # acknowledged, and gone
-    gone = opened(tmp_path / "flipped", word="2")
+    gone = open_existing(tmp_path / "flipped", incarnation="2")
     assert gone.incarnation == "2" and "acknowledged" in gone.faults[0].what
     gone.close()
 
 
 def test_more_than_a_tail_is_seen_without_the_count(tmp_path: Path) -> None:
     """After the machine's death the count may be old: two commits behind a break are no tear."""
-    disk = opened(tmp_path / "live")
-    told = (tmp_path / "live" / TOLD).read_bytes()
+    storage = open_existing(tmp_path / "live")
+    told = (tmp_path / "live" / ACKNOWLEDGED_FILE).read_bytes()
     sizes = []
     for n in range(1, 6):
-        put(disk, "g", entries(n, n))
-        sizes.append((tmp_path / "live" / f"{NAME}-wal").stat().st_size)
+        write_records(storage, "g", entries(n, n))
+        sizes.append((tmp_path / "live" / WAL_FILE).stat().st_size)
     shutil.copytree(tmp_path / "live", tmp_path / "dead", ignore=shutil.ignore_patterns("*-shm", "lock"))
-    disk.close()
-    wal = tmp_path / "dead" / f"{NAME}-wal"
+    storage.close()
+    wal = tmp_path / "dead" / WAL_FILE
     raw = bytearray(wal.read_bytes())
     raw[sizes[1] + 1000] ^= 1
     wal.write_bytes(raw)
-    (tmp_path / "dead" / TOLD).write_bytes(told)
-    back = opened(tmp_path / "dead", word="2")
+    (tmp_path / "dead" / ACKNOWLEDGED_FILE).write_bytes(told)
+    back = open_existing(tmp_path / "dead", incarnation="2")
     assert back.incarnation == "2" and "transactions lie behind" in back.faults[0].what
     back.close()
 
 
-def test_a_store_that_is_gone_is_told_and_damaged_ones_are_kept_within_a_bound(disk: ClusterStorage) -> None:
-    put(disk, "g", entries(1, 2))
-    disk.close()
-    (disk.folder / NAME).unlink()
-    for n in range(MOST_KEPT + 3):
-        back = opened(disk.folder, word=f"w{n}")
+def test_a_store_that_is_gone_is_told_and_damaged_ones_are_kept_within_a_bound(
+    storage: ClusterStorage,
+) -> None:
+    write_records(storage, "g", entries(1, 2))
+    storage.close()
+    (storage.directory / DATABASE_FILE).unlink()
+    for n in range(MAX_DAMAGED_STORES + 3):
+        back = open_existing(storage.directory, incarnation=f"w{n}")
         assert back.incarnation == f"w{n}" and isinstance(back.faults[0], errors.StorageDamaged)
         back.close()
-        (disk.folder / NAME).write_bytes(b"not a store" * 500)
-    assert len(list(disk.folder.glob("damaged-*"))) == MOST_KEPT
+        (storage.directory / DATABASE_FILE).write_bytes(b"not a store" * 500)
+    assert len(list(storage.directory.glob("damaged-*"))) == MAX_DAMAGED_STORES
 
 
 # Whose it is
 # ----------------------------------------------------------------------------------------------------------
 
 
-def test_one_folder_one_process_one_member_one_fleet(disk: ClusterStorage) -> None:
-    held = open_store(disk.folder, "f", "a")
-    assert isinstance(held, errors.StorageFailed) and "another process" in held.what
-    disk.close()
+def test_one_folder_one_process_one_member_one_fleet(storage: ClusterStorage) -> None:
+    held = open_storage(storage.directory, "f", "a")
+    assert isinstance(held, StorageLocked) and isinstance(held.error, errors.StorageFailed)
+    assert "another process" in held.error.what
+    storage.close()
     for fleet, member in (("other", "a"), ("f", "b")):
-        assert isinstance(open_store(disk.folder, fleet, member), errors.ClusterMismatch)
-    back = opened(disk.folder)
+        assert isinstance(open_storage(storage.directory, fleet, member), errors.ClusterMismatch)
+    back = open_existing(storage.directory)
     assert back.incarnation == "1"
     back.close()
-    (disk.folder / NAME).rename(disk.folder / "store-99.db")
-    later = open_store(disk.folder, "f", "a")
+    (storage.directory / DATABASE_FILE).rename(storage.directory / "store-99.db")
+    later = open_storage(storage.directory, "f", "a")
     assert isinstance(later, errors.StorageFailed) and "store-99.db" in later.what
 
 
 def test_a_folder_that_cannot_be_made_is_an_error(tmp_path: Path) -> None:
     (tmp_path / "file").write_text("")
-    assert isinstance(open_store(tmp_path / "file" / "s", "f", "a"), errors.StorageFailed)
+    assert isinstance(open_storage(tmp_path / "file" / "s", "f", "a"), errors.StorageFailed)
 
 
 # Off the loop
 # ---------------------------------------------------------------------------------------------------------
 
 
-class Told:
-    """Collects what a writer tells."""
+class WriterObserver:
+    """Collects what a writer reports."""
 
-    def __init__(self, disk: ClusterStorage) -> None:
-        self.stored: list[RecordsPersisted] = []
-        self.broke: list[errors.ClusterError] = []
-        self.news = asyncio.Event()
-        self.writer = StoreWriter(
-            disk, asyncio.get_running_loop().call_soon_threadsafe, self._stored, self._broke
+    def __init__(self, storage: ClusterStorage) -> None:
+        self.persisted: list[RecordsPersisted] = []
+        self.failures: list[errors.ClusterError] = []
+        self.notified = asyncio.Event()
+        self.writer = StorageWriter(
+            storage, asyncio.get_running_loop().call_soon_threadsafe, self._on_persisted, self._on_failure
         )
 
-    def _stored(self, those: list[RecordsPersisted]) -> None:
-        self.stored += those
-        self.news.set()
+    def _on_persisted(self, persisted: list[RecordsPersisted]) -> None:
+        self.persisted += persisted
+        self.notified.set()
 
-    def _broke(self, error: errors.ClusterError) -> None:
-        self.broke.append(error)
-        self.news.set()
+    def _on_failure(self, error: errors.ClusterError) -> None:
+        self.failures.append(error)
+        self.notified.set()
 
     async def until(self, count: int) -> None:
-        while len(self.stored) < count and not self.broke:
-            self.news.clear()
-            await asyncio.wait_for(self.news.wait(), 10)
+        while len(self.persisted) < count and not self.failures:
+            self.notified.clear()
+            await asyncio.wait_for(self.notified.wait(), 10)
 
 
 def test_what_waits_goes_into_one_transaction_and_is_answered_in_order(
-    disk: ClusterStorage, monkeypatch: pytest.MonkeyPatch
+    storage: ClusterStorage, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     gate, write = threading.Event(), ClusterStorage.write
     monkeypatch.setattr(ClusterStorage, "write", lambda self, batch: (gate.wait(10), write(self, batch))[1])
 
     async def test() -> None:
-        told = Told(disk)
+        observer = WriterObserver(storage)
         stores = [PersistRecords(f"g{n % 3}", n, (HardState(n, ""),)) for n in range(40)]
         for one in stores:
-            told.writer.put([one])
+            observer.writer.submit([one])
         await asyncio.sleep(0)
-        assert not told.stored  # the disk hangs, the loop does not
+        assert not observer.persisted  # the disk hangs, the loop does not
         gate.set()
-        await told.until(40)
+        await observer.until(40)
         assert (
-            told.stored == [RecordsPersisted(one.group, one.seq) for one in stores]
-            and told.writer.transactions == 2
+            observer.persisted == [RecordsPersisted(one.group, one.seq) for one in stores]
+            and observer.writer.transactions == 2
         )
-        told.writer.put([PersistRecords("last", 1, (HardState(1, "a/1"),))])
-        told.writer.end(10)
+        observer.writer.submit([PersistRecords("last", 1, (HardState(1, "a/1"),))])
+        observer.writer.close(10)
 
     asyncio.run(test())
-    back = opened(disk.folder)
-    assert back.saved["last"] == PersistedGroup(1, "a/1") and back.saved["g0"].term == 39
+    back = open_existing(storage.directory)
+    assert (
+        back.persisted_groups["last"] == PersistedGroup(1, "a/1") and back.persisted_groups["g0"].term == 39
+    )
     back.close()
 
 
-def test_a_full_disk_breaks_the_store_once_and_keeps_what_was_acknowledged(disk: ClusterStorage) -> None:
+def test_a_full_disk_breaks_the_store_once_and_keeps_what_was_acknowledged(storage: ClusterStorage) -> None:
     async def test() -> None:
-        disk._db.execute("PRAGMA max_page_count = 40")
-        told = Told(disk)
+        storage._database.execute("PRAGMA max_page_count = 40")
+        observer = WriterObserver(storage)
         for n in range(1, 100):
-            told.writer.put([PersistRecords("g", n, (entries(n, n, size=4000),))])
-            await told.until(n)
-        assert [type(one) for one in told.broke] == [errors.StorageFailed] and "full" in told.broke[0].what
-        told.writer.put([PersistRecords("g", 100, (HardState(1, ""),))])
-        told.writer.end(10)
-        assert len(told.broke) == 1
-        back = opened(disk.folder)
-        assert len(back.saved["g"].entries) == len(told.stored) > 3 and not back.faults
+            observer.writer.submit([PersistRecords("g", n, (entries(n, n, size=4000),))])
+            await observer.until(n)
+        assert [type(one) for one in observer.failures] == [
+            errors.StorageFailed
+        ] and "full" in observer.failures[0].what
+        observer.writer.submit([PersistRecords("g", 100, (HardState(1, ""),))])
+        observer.writer.close(10)
+        assert len(observer.failures) == 1
+        back = open_existing(storage.directory)
+        assert len(back.persisted_groups["g"].entries) == len(observer.persisted) > 3 and not back.faults
         back.close()
 
     asyncio.run(test())
 
 
 def test_a_disk_that_does_not_keep_up_is_given_up_at_the_bound(
-    disk: ClusterStorage, monkeypatch: pytest.MonkeyPatch
+    storage: ClusterStorage, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr("badgeryoke.gateway.cluster.storage.MOST_WAITING", 10_000)
+    monkeypatch.setattr("badgeryoke.gateway.cluster.storage.writer.MAX_PENDING_BYTES", 10_000)
     gate = threading.Event()
     monkeypatch.setattr(ClusterStorage, "write", lambda self, batch: gate.wait(10))
 
     async def test() -> None:
-        told = Told(disk)
+        observer = WriterObserver(storage)
         for n in range(30):
-            told.writer.put([PersistRecords("g", n, (entries(n, n, size=1000),))])
-        assert len(told.broke) == 1 and not told.stored
+            observer.writer.submit([PersistRecords("g", n, (entries(n, n, size=1000),))])
+        assert len(observer.failures) == 1 and not observer.persisted
         gate.set()
-        told.writer.end(10)
+        observer.writer.close(10)
 
     asyncio.run(test())
--- a/tests/support/cluster_history.py
+++ b/tests/support/cluster_history.py
@@ -20,7 +20,7 @@
 from badgeryoke.cluster.state_machine.machine import GroupStateMachine, encode
 from badgeryoke.cluster.state_machine.part import FLEET, ApplyResult, Command
 from badgeryoke.cluster.timings import Timings
-from badgeryoke.gateway.cluster.storage import ClusterStorage, open_store
+from badgeryoke.gateway.cluster.storage import ClusterStorage, open_storage
 from tests.support.cluster_samples import CLUSTER, CONFIG, FACTS, FOUNDING, OWED, SERVER, START_MS, TERMS
 
 MEMBER, INCARNATION = "a", "1"
@@ -243,7 +243,7 @@
 
 def write_store(folder: Path) -> ClusterStorage:
     """A store with groups of every kind, part of it still in SQLite's write-ahead log.  It stays open."""
-    disk = open_store(folder, CLUSTER, MEMBER, fresh=lambda: INCARNATION)
+    disk = open_storage(folder, CLUSTER, MEMBER, new_incarnation=lambda: INCARNATION)
     assert isinstance(disk, ClusterStorage), disk
     founding = Snapshot(index=1, term=1, config=CONFIG, body=msgspec.msgpack.encode(FOUNDING))
     disk.write([PersistRecords(FOUNDING_GROUP, 1, (founding,))])
@@ -257,7 +257,7 @@
             [PersistRecords(group, 2, (HardState(term=2, vote="a/1"), Entries(entries[:SNAPSHOT_AT])))]
         )
         disk.write([PersistRecords(group, 3, (Snapshot(last.index, last.term, CONFIG, state.dump()),))])
-    disk._db.execute("PRAGMA wal_checkpoint(TRUNCATE)")
+    disk._database.execute("PRAGMA wal_checkpoint(TRUNCATE)")
     for group in HISTORIES:
         disk.write(
             [
--- a/tests/support/cluster_samples.py
+++ b/tests/support/cluster_samples.py
@@ -17,7 +17,7 @@
 from badgeryoke.cluster.rolling_restart import restart
 from badgeryoke.cluster.state_machine.machine import decode, encode
 from badgeryoke.cluster.state_machine.part import ApplyResult, Command
-from badgeryoke.gateway.cluster.transport import frame, read
+from badgeryoke.gateway.cluster.transport import decode_envelope, encode_frame
 
 START_MS = 1_700_000_000_000.0  # Unix ms, of all that is said to happen
 CLUSTER, SENDER, RECEIVER = "harbour", "a/1", "b/2"
@@ -301,12 +301,12 @@
 
 
 def _framed(envelope: messages.Envelope) -> bytes:
-    return frame(envelope)
+    return encode_frame(envelope)
 
 
 def _unframed(raw: bytes) -> Any:
     assert int.from_bytes(raw[:4], "big") == len(raw) - 4
-    return read(raw[4:], CLUSTER, SENDER)
+    return decode_envelope(raw[4:], CLUSTER, SENDER)
 
 
 def _envelope(name: str, to: str, *sent: messages.AnyMessage) -> Case:
--- /dev/null
+++ b/tests/support/transport.py
@@ -0,0 +1,125 @@
+"""Members of a cluster on loopback, for tests of the connections between them."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import AsyncIterator, Callable, Coroutine
+from random import Random
+
+from badgeryoke.cluster import errors
+from badgeryoke.cluster.messages import (
+    COMMAND,
+    VERSION,
+    AnyMessage,
+    AppendEntries,
+    Envelope,
+    GossipUpdate,
+    LogEntry,
+    MemberId,
+    Ping,
+)
+from badgeryoke.gateway.cluster.transport import ClusterTransport, TransportLimits, encode_frame
+from tests.support.stand_ins import HOST
+
+SHORT_TIMEOUTS = TransportLimits(
+    connect_timeout_s=0.2,
+    handshake_timeout_s=0.2,
+    stall_timeout_s=0.2,
+    heartbeat_interval_s=0.0,
+    min_reconnect_backoff_s=0.01,
+    max_reconnect_backoff_s=0.05,
+)
+TEST_TIMEOUT_S = 20
+PING = Ping(1, "b/1", (GossipUpdate("c/1", 1, 3, "a/1"),))
+HANDSHAKE = Envelope(VERSION, "f", "a/1", "b", ())
+
+
+def append_entries(size: int = 1000, index: int = 1) -> AppendEntries:
+    """A message with one entry of that size."""
+    return AppendEntries("g", 1, index - 1, 1, (LogEntry(index, 1, COMMAND, b"x" * size),), 0, 0)
+
+
+class TransportEndpoint:
+    """One member's transport, and what it has received and reported."""
+
+    def __init__(
+        self,
+        member_id: str,
+        cluster: str = "f",
+        limits: TransportLimits = SHORT_TIMEOUTS,
+        listening: socket.socket | None = None,
+        **peer_ports: int,
+    ) -> None:
+        self.listening = listening or socket.create_server((HOST, 0))
+        self.port = self.listening.getsockname()[1]
+        self.received: list[tuple[str, AnyMessage]] = []
+        self.frame_sizes: list[int] = []  # messages of each frame received
+        self.errors: list[errors.ClusterError] = []
+        self.transport = ClusterTransport(
+            cluster,
+            member_id,
+            {name: (HOST, port) for name, port in peer_ports.items()},
+            self._on_messages,
+            self.errors.append,
+            Random(1),
+            limits,
+        )
+        self.transport.listen([self.listening])
+
+    def _on_messages(self, sender: MemberId, messages: tuple[AnyMessage, ...]) -> None:
+        self.frame_sizes.append(len(messages))
+        self.received.extend((sender, message) for message in messages)
+
+    def error_codes(self) -> list[str]:
+        """Of the errors reported, in order."""
+        return [error.code for error in self.errors]
+
+
+@contextlib.asynccontextmanager
+async def connected_pair(
+    limits: TransportLimits = SHORT_TIMEOUTS,
+) -> AsyncIterator[tuple[TransportEndpoint, TransportEndpoint]]:
+    """Members `a/1`, with those limits, and `b/1`, which know each other's addresses."""
+    there = TransportEndpoint("b/1", a=1)
+    here = TransportEndpoint("a/1", limits=limits, b=there.port)
+    there.transport.peers["a"].address = HOST, here.port
+    try:
+        yield here, there
+    finally:
+        here.transport.close()
+        there.transport.close()
+
+
+def run_with_timeout(test: Callable[[], Coroutine[object, object, None]]) -> None:
+    """Run a test that may wait for what never comes."""
+    asyncio.run(asyncio.wait_for(test(), TEST_TIMEOUT_S))
+
+
+class UnresponsivePeer:
+    """Accepts connections and answers the handshake alone; reads nothing, or reads all."""
+
+    def __init__(self, reads: bool) -> None:
+        self.reads, self.connections = reads, 0
+        self.writers: list[asyncio.StreamWriter] = []
+
+    async def __aenter__(self) -> UnresponsivePeer:
+        self.server = await asyncio.start_server(self._serve, HOST, 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        self.server.close()
+        for writer in self.writers:
+            writer.transport.abort()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        writer.write(encode_frame(Envelope(VERSION, "f", "c/1", "a", ())))
+        self.writers.append(writer)
+        if self.reads:
+            with contextlib.suppress(asyncio.CancelledError):
+                await reader.read()
+        else:
+            reader._transport.pause_reading()  # type: ignore[attr-defined]
