Split the cluster service: start-up, node driver, pending calls, clock

Cause: service.py (468 lines) opened storage and sockets, drove the node, kept calls and told the status. Change: startup.py opens storage and sockets and forces groups, node_driver.py hands events to the node and carries out its effects by match, pending_calls.py matches results by token, clock.py has the two clocks; service.py starts, calls, reports and ends. Order of effects, timings, answers and status keys are as before.

--- a/badgeryoke/gateway/application.py
+++ b/badgeryoke/gateway/application.py
@@ -171,14 +171,14 @@
             self.fleet = ClusterService(self._config.operators.fleet, self._config.name)
             # A connection is used as long as the longest request on it, and then rests.
             longest_ms = max((cls.deadline_ms for cls in self._config.settings.classes), default=0.0)
-            self._pools = self.fleet.pools = ConnectionLeases(
+            self._pools = self.fleet.connection_leases = ConnectionLeases(
                 self._config.operators.fleet,
                 self._loop,
-                self.fleet.now,
+                self.fleet.clock.monotonic_ms,
                 self._config.idle_ms + longest_ms,
                 self,
             )
-            self.fleet.on_floor = self.core.guarantee
+            self.fleet.on_reservation_client = self.core.guarantee
             self.fleet.start()
         if self._counter is not None:
             self._counter.open()
--- /dev/null
+++ b/badgeryoke/gateway/cluster/startup.py
@@ -0,0 +1,123 @@
+"""What a member needs before its node is made: storage, listening sockets, and the node's setup."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+from collections.abc import Callable
+from pathlib import Path
+
+from tornado.netutil import bind_sockets
+
+from badgeryoke.cluster.errors import ClusterError
+from badgeryoke.cluster.events import Entries, HardState, PersistRecords
+from badgeryoke.cluster.messages import MemberId
+from badgeryoke.cluster.node import ANY, Member, NodeSetup
+from badgeryoke.cluster.placement.directory import forced
+from badgeryoke.gateway.cluster.settings import ClusterSettings
+from badgeryoke.gateway.cluster.storage import ClusterStorage, StorageLocked, open_storage
+from badgeryoke.gateway.discovery.client import split_address
+
+log = logging.getLogger(__name__)
+
+RETRY_INTERVAL_S = 0.2  # for a directory or an address that the process before still holds
+LISTEN_BACKLOG = 128
+
+
+def node_setup(settings: ClusterSettings, gateway_name: str, incarnation: str) -> NodeSetup:
+    """The settings in the form in which a node takes them."""
+    connection_limits = dict(settings.servers.limits)
+    if settings.servers.connections:
+        connection_limits[ANY] = settings.servers.connections
+    return NodeSetup(
+        settings.name,
+        settings.me or gateway_name,
+        incarnation,
+        tuple(Member(member.name, member.hall, member.address) for member in settings.members),
+        settings.copies,
+        settings.groups,
+        settings.timings,
+        settings.capacity,
+        connection_limits,
+    )
+
+
+async def open_storage_when_free(
+    settings: ClusterSettings, member: str, closed: Callable[[], bool]
+) -> ClusterStorage | ClusterError | None:
+    """Open the member's storage as soon as no other process holds it; None where `closed` comes first."""
+    logged = False
+    while not closed():
+        opened = await asyncio.to_thread(
+            open_storage, Path(settings.folder), settings.name, member, settings.fsync
+        )
+        if not isinstance(opened, StorageLocked):
+            return opened
+        if not logged:  # mostly the process that this one replaces
+            log.warning("%s; retrying until it is free", opened.error)
+        logged = True
+        await asyncio.sleep(RETRY_INTERVAL_S)
+    return None
+
+
+async def listen_when_free(address: str, closed: Callable[[], bool]) -> list[socket.socket]:
+    """Listen on an address, IP:PORT, as soon as it is free; no sockets where `closed` comes first."""
+    host, port = split_address(address)
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    logged = False
+    while not closed():
+        try:
+            return bind_sockets(port, host, family, LISTEN_BACKLOG)
+        except OSError as fault:
+            if not logged:
+                log.error(
+                    "cannot listen on the cluster's address %s:%d: %s; retrying until it is free",
+                    host,
+                    port,
+                    fault.strerror,
+                )
+            logged = True
+            await asyncio.sleep(RETRY_INTERVAL_S)
+    return []
+
+
+def force_groups(
+    settings: ClusterSettings, storage: ClusterStorage, member_id: MemberId, unix_ms: Callable[[], float]
+) -> None:
+    """[fleet.forced]: groups that have lost their majority for good go on from this copy alone.
+
+    Raises sqlite3.Error, OSError or DamagedRecord where that cannot be written.
+    """
+    for group, lost_members in settings.forced.items():
+        _force_group(storage, group, lost_members, member_id, unix_ms)
+
+
+def _force_group(
+    storage: ClusterStorage,
+    group: str,
+    lost_members: tuple[MemberId, ...],
+    member_id: MemberId,
+    unix_ms: Callable[[], float],
+) -> None:
+    persisted = storage.persisted_groups.get(group)
+    if persisted is None:
+        log.warning("fleet.forced.%s: this member holds no copy of it", group)
+        return
+    changed = forced(persisted, group, member_id, lost_members, unix_ms())
+    if changed is persisted:
+        log.warning(
+            "fleet.forced.%s: nothing to do: done already, or these are not all its other members; "
+            "take the line out again",
+            group,
+        )
+        return
+    added_entries = changed.entries[len(persisted.entries) :]
+    records = HardState(changed.term, changed.vote), Entries(added_entries)
+    storage.write([PersistRecords(group, 0, records)])
+    storage.persisted_groups[group] = changed
+    log.warning(
+        "fleet.forced.%s: BY HAND, the group goes on from this copy alone, without %s",
+        group,
+        ", ".join(lost_members),
+    )
--- a/badgeryoke/testbed/cluster_benchmark.py
+++ b/badgeryoke/testbed/cluster_benchmark.py
@@ -91,10 +91,12 @@
     await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
     service = ClusterService(fleet, fleet.me)
     if pools:
-        service.pools = ConnectionLeases(fleet, ActorScheduler(loop), service.now, 30_000.0, Idle())
-        service.pools.listed(f"s{at}" for at in range(SERVERS))
+        service.connection_leases = ConnectionLeases(
+            fleet, ActorScheduler(loop), service.clock.monotonic_ms, 30_000.0, Idle()
+        )
+        service.connection_leases.listed(f"s{at}" for at in range(SERVERS))
         for at in range(SERVERS):
-            lease = service.pools.lease(f"s{at}")
+            lease = service.connection_leases.lease(f"s{at}")
             assert lease is not None
             lease.link = Wanting()
     service.start()
@@ -123,7 +125,7 @@
     """Promise without a pause, so many under way; ms that each acknowledged one took."""
     took: list[float] = []
     until = time.monotonic() + seconds
-    prefix = f"{service.me}-{time.monotonic_ns()}"
+    prefix = f"{service.member}-{time.monotonic_ns()}"
 
     async def one(which: int) -> None:
         at = 0
--- a/tests/cluster/test_golden_cluster.py
+++ b/tests/cluster/test_golden_cluster.py
@@ -44,12 +44,12 @@
 from badgeryoke.cluster.state_machine.part import FLEET, ApplyResult, Command, LeaderView
 from badgeryoke.cluster.timings import Timings
 from badgeryoke.gateway.cluster.admin_calls import known, line_of, read_call
-from badgeryoke.gateway.cluster.service import ClusterService, setup_of
+from badgeryoke.gateway.cluster.service import ClusterService
 from badgeryoke.gateway.cluster.settings import ClusterSettings
+from badgeryoke.gateway.cluster.startup import node_setup
 from badgeryoke.gateway.cluster.storage import ClusterStorage, open_storage
 from badgeryoke.gateway.cluster.storage.format import DATABASE_FILE, WAL_FILE
 from badgeryoke.gateway.cluster.transport import ClusterTransport, encode_frame
-from tests.gateway.cluster.test_service import free
 from tests.gateway.test_service import until
 from tests.support.canonical import canonical
 from tests.support.cluster_history import (
@@ -75,6 +75,7 @@
     START_MS,
     Case,
 )
+from tests.support.cluster_service import free_port
 from tests.support.paths import ROOT
 from tests.support.stand_ins import HOST
 
@@ -410,7 +411,7 @@
     """The operators' file; nobody listens at the others' addresses."""
     members = [
         {"name": name, "hall": hall, "address": f"{HOST}:{port}"}
-        for name, hall, port in (("a", "east", free()), ("b", "west", 1), ("c", "east", 2))
+        for name, hall, port in (("a", "east", free_port()), ("b", "west", 1), ("c", "east", 2))
     ]
     return msgspec.convert(
         {"enabled": True, "name": CLUSTER, "folder": str(folder), "members": members}, ClusterSettings
@@ -422,12 +423,12 @@
     group (hex) that no operator may call for; its answer is in canonical form."""
 
     async def ask() -> list[str]:
-        service = ClusterService(service_section(folder), MEMBER, make=AnsweringNode)
+        service = ClusterService(service_section(folder), MEMBER, node_factory=AnsweringNode)
         service.start()
-        await until(lambda: service.node is not None or service.failed is not None)
+        await until(lambda: service.node is not None or service.failure is not None)
         try:
             node = service.node
-            assert isinstance(node, AnsweringNode), service.failed
+            assert isinstance(node, AnsweringNode), service.failure
             return [
                 (await service.answer(one["call"].encode())).decode()
                 if "call" in one
@@ -572,7 +573,7 @@
     """What the node wants done at each event; messages also by their bytes."""
     disk = opened(folder)
     disk.close()
-    setup = setup_of(service_section(folder), MEMBER, disk.incarnation)
+    setup = node_setup(service_section(folder), MEMBER, disk.incarnation)
     node = ClusterNode(
         setup, disk.persisted_groups, Random(1), NODE_TIME_MS, START_MS + 80_000.0, Invariants(strict=True)
     )
--- a/tests/decisions/test_priority_admission.py
+++ b/tests/decisions/test_priority_admission.py
@@ -20,10 +20,10 @@
 from badgeryoke.gateway.attempt import Request
 from badgeryoke.gateway.cluster.service import ClusterService
 from badgeryoke.gateway.dispatcher import Dispatcher, Rejected, Served
-from tests.gateway.cluster.test_service import section
 from tests.gateway.test_dispatcher import AIM, Bench, NoCounter
 from tests.gateway.test_service import until
 from tests.support import samples
+from tests.support.cluster_service import cluster_settings
 from tests.support.samples import START, only
 
 
@@ -364,14 +364,14 @@
 
 def test_the_fleets_part_hands_its_stakes_to_the_core(tmp_path: Path) -> None:
     async def test() -> None:
-        made, told = ClusterService(section(tmp_path), "a"), list[Any]()
-        made.on_floor = lambda floor, now: told.extend((floor, now))
+        made, told = ClusterService(cluster_settings(tmp_path), "a"), list[Any]()
+        made.on_reservation_client = lambda floor, now: told.extend((floor, now))
         made.start()
         await until(lambda: bool(told))
         assert (
             isinstance(made.node, ClusterNode)
-            and told == [made.floor, made.now]
-            and made.floor in made.node.holders
+            and told == [made.reservation_client, made.clock.monotonic_ms]
+            and made.reservation_client in made.node.holders
         )
         made.close()
 
--- a/tests/gateway/cluster/test_connection_leases.py
+++ b/tests/gateway/cluster/test_connection_leases.py
@@ -34,15 +34,15 @@
 from badgeryoke.decisions.interface import Verdict
 from badgeryoke.gateway.actor import ActorScheduler
 from badgeryoke.gateway.attempt import Attempt, AttemptEnd, Request
+from badgeryoke.gateway.cluster.clock import boot_time_ms
 from badgeryoke.gateway.cluster.connection_leases import GONE_MS, SIFT_MS, ConnectionLeases
-from badgeryoke.gateway.cluster.service import boot_ms
 from badgeryoke.gateway.cluster.settings import ClusterSettings, Servers
 from badgeryoke.gateway.config.operators_file import Operators
 from badgeryoke.gateway.diameter.peer import PeerIdentity
 from badgeryoke.gateway.diameter.upstream_connection import DiameterUpstream
 from badgeryoke.gateway.resp.upstream_connection import RespUpstream
-from tests.gateway.cluster.test_service import section
 from tests.gateway.resp.test_client_connection import play
+from tests.support.cluster_service import cluster_settings
 from tests.support.stand_ins import (
     HOST,
     Backend,
@@ -70,7 +70,7 @@
         self.did: list[str] = []
         self.drained, self.unanswered = False, 0
         fleet = ClusterSettings(servers=Servers(connections=MOST))
-        self.pools = ConnectionLeases(fleet, self.loop, boot_ms, IDLE_MS, self)
+        self.pools = ConnectionLeases(fleet, self.loop, boot_time_ms, IDLE_MS, self)
         setup = NodeSetup("f", name, "1", (Member(name, "h"),), timings=TIMINGS)
         self.node = ClusterNode(setup, {}, Random(1), 0.0, 0.0, self.rules)
         self.lease = lease = self.pools.lease("s")
@@ -79,7 +79,7 @@
             DiameterUpstream(
                 (HOST, port),
                 self.loop,
-                boot_ms,
+                boot_time_ms,
                 me=PeerIdentity("g", "r", HOST, 1),
                 services={},
                 connect_ms=PATIENT_MS,
@@ -91,7 +91,7 @@
             else RespUpstream(
                 (HOST, port),
                 self.loop,
-                boot_ms,
+                boot_time_ms,
                 report_names=(),
                 connect_ms=PATIENT_MS,
                 idle_ms=30_000.0,
@@ -122,7 +122,7 @@
 
     def ask(self, deadline_ms: float = 2 * PATIENT_MS) -> Attempt:
         """One attempt."""
-        now = boot_ms()
+        now = boot_time_ms()
         made = Attempt(
             Request(f"{len(self.ends):016x}", "c", "p", ord(self.name), deadline_ms, 1.0, 1, safe=True),
             0,
@@ -155,12 +155,12 @@
 
     async def run(self) -> None:
         while True:
-            now = boot_ms()
+            now = boot_time_ms()
             for gate in self.gates:
                 if gate.pools.keeper is not None:
                     for command in gate.pools.poll(now, now):
                         gate.pools.answered(
-                            boot_ms(),
+                            boot_time_ms(),
                             command,
                             NoLeader("g0", "cut off")
                             if gate.name in self.cut
@@ -253,7 +253,7 @@
 def test_without_a_lease_nothing_is_opened_and_each_query_is_answered_by_its_deadline(tmp_path: Path) -> None:
     async def test() -> None:
         async with Backend() as node, Discovery(entry("s", node.port)) as list_:
-            operators = Operators(fleet=section(tmp_path, servers=Servers(connections=MOST)))
+            operators = Operators(fleet=cluster_settings(tmp_path, servers=Servers(connections=MOST)))
             made = replace(
                 config(list_.port, None, roster(entry("s", node.port))), name="a", operators=operators
             )
@@ -275,13 +275,13 @@
             attempt = a.ask()
             await soon(lambda: server.held("a"))
             server.deaf = deaf
-            begun = boot_ms()
+            begun = boot_time_ms()
             attempt.abandon(Verdict.CANCELLED)
             await soon(lambda: len(a.link._all) == 0)
             if deaf:
                 assert (a.open, server.held("a")) == (1, 1)
             await soon(lambda: a.open == 0)
-            assert not deaf or boot_ms() - begun >= IDLE_MS
+            assert not deaf or boot_time_ms() - begun >= IDLE_MS
             assert len(server.by) == int(deaf)
             server.release.set()
 
@@ -334,7 +334,7 @@
         ):
             a.ask()
             await soon(lambda: a.ends)
-            a.pools.now = lambda: boot_ms() + 1e5
+            a.pools.now = lambda: boot_time_ms() + 1e5
             a.haste()
             a.ask()  # before anything else could look
             await soon(lambda: len(a.ends) == 2)
@@ -352,10 +352,10 @@
 
             def stands(stand: str, **more: Any) -> None:
                 (read,) = [
-                    one for one in rolled.poll(boot_ms() + 1e6, 0.0) if isinstance(one, ReadDesiredState)
+                    one for one in rolled.poll(boot_time_ms() + 1e6, 0.0) if isinstance(one, ReadDesiredState)
                 ]
                 rolled.answered(
-                    boot_ms(),
+                    boot_time_ms(),
                     read,
                     ApplyResult(
                         {
--- a/tests/gateway/cluster/test_service.py
+++ b/tests/gateway/cluster/test_service.py
@@ -7,11 +7,9 @@
 import json
 import math
 import re
-import socket
 import subprocess
 import sys
-from collections.abc import AsyncIterator, Callable, Iterator
-from contextlib import asynccontextmanager
+from collections.abc import Callable, Iterator
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
@@ -41,15 +39,18 @@
 from badgeryoke.cluster.state_machine.part import ApplyResult
 from badgeryoke.gateway.application import GatewayApplication
 from badgeryoke.gateway.cluster import service as service_module
+from badgeryoke.gateway.cluster import startup as startup_module
 from badgeryoke.gateway.cluster.admin_calls import line_of, read_call
-from badgeryoke.gateway.cluster.service import ClusterService, setup_of
-from badgeryoke.gateway.cluster.settings import ClusterSettings
+from badgeryoke.gateway.cluster.service import ClusterService
+from badgeryoke.gateway.cluster.startup import node_setup
 from badgeryoke.gateway.cluster.storage import ClusterStorage, StorageWriter, open_storage
 from badgeryoke.gateway.config.operators_file import Operators, OperatorsError, read_operators
 from badgeryoke.gateway.config.platform_file import ConfigError
 from tests.gateway.test_service import until
+from tests.support.cluster_service import ScriptedNode, cluster_settings, running_service
 from tests.support.paths import ROOT
 from tests.support.stand_ins import HOST, Backend, Discovery, config, connect, entry, gateway, roster
+from tests.support.transport import run_with_timeout
 
 MEMBERS = "\n".join(
     f'[[fleet.members]]\nname = "{name}"\nhall = "h"\naddress = "{HOST}:{port}"'
@@ -77,10 +78,10 @@
         servers = {{ connections = 24, limits = {{ s1 = 8 }} }}\nforced = {{ g1 = ["a/1", "c/2"] }}""",
         )
     ).fleet
-    made = setup_of(fleet, "gw", "x1")
+    made = node_setup(fleet, "gw", "x1")
     assert (made.id, made.copies, made.timings.lease_ms) == ("b/x1", 3, 4000.0)
     assert made.servers == {"*": 24, "s1": 8} and [one.name for one in made.members] == ["a", "b", "c"]
-    assert setup_of(msgspec.structs.replace(fleet, me=""), "c", "x1").me == "c"
+    assert node_setup(msgspec.structs.replace(fleet, me=""), "c", "x1").me == "c"
 
 
 @pytest.mark.parametrize(
@@ -214,74 +215,12 @@
 # ----------------------------------------------------------------------------------------------------------
 
 
-class Script:
-    """In the node's place: notes events, and does what a test lays out."""
-
-    def __init__(self, *told: Any) -> None:
-        self.holders: list[Any] = []
-        self.setup, self.saved, _, self.began, _, self.rules = told
-        self.events: list[Any] = []
-        self.due = math.inf
-        self.does: Callable[[Any], list[Any]] = lambda event: []
-
-    def handle(self, now: float, wall: float, event: Any) -> list[Any]:
-        self.events.append(event)
-        self.due = math.inf
-        return self.does(event)
-
-    def status(self) -> dict[str, Any]:
-        return {"groups": {"g0": {"state": "leader", "term": 3}}}
-
-    def seen(self, kind: type) -> list[Any]:
-        return [one for one in self.events if isinstance(one, kind)]
-
-
-def free() -> int:
-    with socket.create_server((HOST, 0)) as one:
-        return int(one.getsockname()[1])
-
-
-def section(folder: Path, **changes: Any) -> ClusterSettings:
-    members = [
-        {"name": name, "hall": "h", "address": f"{HOST}:{port}"}
-        for name, port in (("a", free()), ("b", 1), ("c", 2))
-    ]
-    return msgspec.convert(
-        {
-            "enabled": True,
-            "name": "f",
-            "folder": str(folder / "s"),
-            "members": members,
-            "timings": {"call_ms": 200.0},
-            **changes,
-        },
-        ClusterSettings,
-    )
-
-
-@asynccontextmanager
-async def begun(folder: Path, **changes: Any) -> AsyncIterator[tuple[ClusterService, Script]]:
-    made = ClusterService(section(folder, **changes), "a", make=Script)
-    made.start()
-    await until(lambda: made.node is not None or made.failed is not None)
-    node = made.node
-    assert isinstance(node, Script)
-    try:
-        yield made, node
-    finally:
-        made.close()
-
-
-def play(test: Callable[[], Any]) -> None:
-    asyncio.run(asyncio.wait_for(test(), 20))
-
-
 def test_events_go_in_and_effects_are_carried_out(tmp_path: Path, caplog: pytest.LogCaptureFixture) -> None:
     async def test() -> None:
-        async with begun(tmp_path) as (made, node):
+        async with running_service(tmp_path) as (made, node):
             assert isinstance(node.events[0], Tick) and node.setup.id == f"a/{node.setup.incarnation}"
 
-            def does(event: Any) -> list[Any]:
+            def effects_of(event: Any) -> list[Any]:
                 if isinstance(event, ClusterCall):
                     return [
                         LogEvent("warning", "asked", {"of": event.command.name}),
@@ -297,18 +236,18 @@
                     ]
                 return []
 
-            node.does = does
+            node.effects_of = effects_of
             assert (
                 await made.answer(b'{"do": "put", "id": "1", "name": "n", "value": "v"}') == b'+OK "kept"\n'
             )
             assert (
-                node.seen(RecordsPersisted) == [RecordsPersisted("g", 1), RecordsPersisted("h", 2)]
-                and made._writer is not None
+                node.events_of_type(RecordsPersisted) == [RecordsPersisted("g", 1), RecordsPersisted("h", 2)]
+                and made.node is not None
             )
-            assert made._writer.transactions == 1 and "asked: of n" in caplog.text
-            assert made.links is not None
-            made._received("b/1", (RequestVoteReply("g", 1, True, False),))
-            assert node.seen(MessageReceived) == [
+            assert made.transactions == 1 and "asked: of n" in caplog.text
+            assert made.transport is not None
+            made._on_messages("b/1", (RequestVoteReply("g", 1, True, False),))
+            assert node.events_of_type(MessageReceived) == [
                 MessageReceived("b/1", RequestVoteReply("g", 1, True, False))
             ]
             status = json.loads((await made.answer(b'{"do": "status"}')).removeprefix(b"+OK "))
@@ -316,71 +255,75 @@
                 status["groups"]["g0"]["state"] == "leader" and status["broken"] == 0 and not status["errors"]
             )
 
-    play(test)
+    run_with_timeout(test)
 
 
 def test_a_tick_comes_when_it_is_due(tmp_path: Path) -> None:
     async def test() -> None:
-        async with begun(tmp_path) as (made, node):
-            before = len(node.seen(Tick))
-
-            def does(event: Any) -> list[Any]:
-                node.due = made._now() + 5.0 if len(node.seen(Tick)) < before + 3 else math.inf
+        async with running_service(tmp_path) as (made, node):
+            before = len(node.events_of_type(Tick))
+
+            def effects_of(event: Any) -> list[Any]:
+                node.due = (
+                    made.clock.monotonic_ms() + 5.0
+                    if len(node.events_of_type(Tick)) < before + 3
+                    else math.inf
+                )
                 return []
 
-            node.does = does
+            node.effects_of = effects_of
             made._feed(Tick())
-            await until(lambda: len(node.seen(Tick)) == before + 3)
-            assert made._timer is None
+            await until(lambda: len(node.events_of_type(Tick)) == before + 3)
+            assert made._driver is not None and not made._driver.timer_armed
 
-    play(test)
+    run_with_timeout(test)
 
 
 def test_no_answer_is_an_unknown_outcome_and_leaving_is_bounded(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(service_module, "LEAVE_S", 0.02)
+    monkeypatch.setattr(service_module, "LEAVE_TIMEOUT_S", 0.02)
 
     async def test() -> None:
-        async with begun(tmp_path) as (made, node):
+        async with running_service(tmp_path) as (made, node):
             assert isinstance(await made.call(PutValue(id="1", name="n", value="v")), errors.UnknownOutcome)
-            assert not made._calls
+            assert not made.pending_call_count
             await made.leave()
             await made.leave()
-            assert len(node.seen(LeaveCluster)) == 1
+            assert len(node.events_of_type(LeaveCluster)) == 1
             asked = asyncio.ensure_future(made.call(PutValue(id="2", name="n", value="v")))
-            await until(lambda: len(node.seen(ClusterCall)) == 2)
+            await until(lambda: len(node.events_of_type(ClusterCall)) == 2)
             made.close()
             assert isinstance(await asked, errors.UnknownOutcome)
             assert isinstance(await made.call(PutValue(id="2", name="n", value="v")), errors.NoLeader)
 
-    play(test)
+    run_with_timeout(test)
 
 
-def broken(node: Script) -> Callable[[Any], list[Any]]:
-    def does(event: Any) -> list[Any]:
-        node.rules.check(Rule.VOTE_ONCE, False, lambda: "two in term 3")
+def broken(node: ScriptedNode) -> Callable[[Any], list[Any]]:
+    def effects_of(event: Any) -> list[Any]:
+        node.invariants.check(Rule.VOTE_ONCE, False, lambda: "two in term 3")
         return [OperationCompleted("a.1", ApplyResult("a lie"))]
 
-    return does
+    return effects_of
 
 
-def failing(node: Script) -> Callable[[Any], list[Any]]:
-    def does(event: Any) -> list[Any]:
+def failing(node: ScriptedNode) -> Callable[[Any], list[Any]]:
+    def effects_of(event: Any) -> list[Any]:
         raise ValueError("no such group")
 
-    return does
+    return effects_of
 
 
 @pytest.mark.parametrize(("way", "word"), [(broken, "VOTE_ONCE"), (failing, "the log has the cause")])
 def test_a_rule_that_does_not_hold_ends_the_part_and_nothing_else(
-    way: Callable[[Script], Callable[[Any], list[Any]]], word: str, tmp_path: Path
+    way: Callable[[ScriptedNode], Callable[[Any], list[Any]]], word: str, tmp_path: Path
 ) -> None:
     """What it wanted done behind the broken rule is not done; calls under way are told that nobody knows."""
 
     async def test() -> None:
-        async with begun(tmp_path) as (made, node):
-            node.does = way(node)
+        async with running_service(tmp_path) as (made, node):
+            node.effects_of = way(node)
             assert isinstance(await made.call(PutValue(id="1", name="n", value="v")), errors.UnknownOutcome)
             after = await made.call(PutValue(id="1", name="n", value="v"))
             assert isinstance(after, errors.InvariantBroken) and word in after.what
@@ -390,7 +333,7 @@
             said = json.loads((await made.answer(b'{"do": "status"}')).removeprefix(b"+OK "))
             assert "invariant-broken" in said["errors"][0]
 
-    play(test)
+    run_with_timeout(test)
 
 
 def test_a_store_that_breaks_is_told_to_the_node_once(
@@ -400,32 +343,32 @@
         raise OSError(28, "No space left on device")
 
     async def test() -> None:
-        async with begun(tmp_path) as (made, node):
+        async with running_service(tmp_path) as (made, node):
             monkeypatch.setattr(ClusterStorage, "write", full)
-            node.does = lambda event: [PersistRecords("g", 1, (HardState(1, ""),))]
+            node.effects_of = lambda event: [PersistRecords("g", 1, (HardState(1, ""),))]
             made._feed(Tick())
             made._feed(Tick())
-            await until(lambda: node.seen(StorageFailure))
+            await until(lambda: node.events_of_type(StorageFailure))
             made._feed(Tick())
             assert (
-                not node.seen(RecordsPersisted)
-                and len(node.seen(StorageFailure)) == 1
-                and made.failed is None
+                not node.events_of_type(RecordsPersisted)
+                and len(node.events_of_type(StorageFailure)) == 1
+                and made.failure is None
             )
             assert "store-failed" in made.status()["errors"][0]
 
-    play(test)
+    run_with_timeout(test)
 
 
 def test_the_folder_of_a_process_before_is_waited_for(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(service_module, "AGAIN_S", 0.01)
+    monkeypatch.setattr(startup_module, "RETRY_INTERVAL_S", 0.01)
 
     async def test() -> None:
         held = open_storage(tmp_path / "s", "f", "a")
         assert isinstance(held, ClusterStorage)
-        made = ClusterService(section(tmp_path), "a", make=Script)
+        made = ClusterService(cluster_settings(tmp_path), "a", node_factory=ScriptedNode)
         made.start()
         assert isinstance(await made.call(PutValue(id="1", name="n", value="v")), errors.NoLeader)
         await asyncio.sleep(0.05)
@@ -433,13 +376,13 @@
         held.close()
         await until(lambda: made.node is not None)
         made.close()
-        other = ClusterService(section(tmp_path, name="other"), "a", make=Script)
+        other = ClusterService(cluster_settings(tmp_path, name="other"), "a", node_factory=ScriptedNode)
         other.start()
-        await until(lambda: other.failed is not None)
-        assert isinstance(other.failed, errors.ClusterMismatch)
+        await until(lambda: other.failure is not None)
+        assert isinstance(other.failure, errors.ClusterMismatch)
         other.close()
 
-    play(test)
+    run_with_timeout(test)
 
 
 def test_a_group_without_a_majority_goes_on_by_hand_once(
@@ -465,12 +408,12 @@
 
     async def test() -> None:
         for words, count in (("BY HAND", 4), ("nothing to do", 4)):
-            async with begun(tmp_path, forced={"g1": others, "g2": others}) as (_, node):
+            async with running_service(tmp_path, forced={"g1": others, "g2": others}) as (_, node):
                 assert words in caplog.text and "fleet.forced.g2: this member holds no copy" in caplog.text
                 assert node.saved["g1"].vote == me and len(node.saved["g1"].entries) == count
             caplog.clear()
 
-    play(test)
+    run_with_timeout(test)
 
 
 # At the gateway
@@ -480,7 +423,7 @@
 @contextlib.contextmanager
 def scripted(monkeypatch: pytest.MonkeyPatch) -> Iterator[None]:
     with monkeypatch.context() as patched:
-        patched.setattr(service_module, "ClusterNode", Script)
+        patched.setattr(service_module, "ClusterNode", ScriptedNode)
         yield
 
 
@@ -503,13 +446,13 @@
             async with gateway(made) as app:
                 assert (await call(app, b"FLEET {}\n")).startswith(b"-ERR fleet is off:")
                 assert await call(app, b"FLEET " + b"x" * 300 + b"\n") == await call(app, b"FLEET\n")
-            made = replace(made, name="a", operators=Operators(fleet=section(tmp_path)))
+            made = replace(made, name="a", operators=Operators(fleet=cluster_settings(tmp_path)))
             async with gateway(made) as app:
                 await until(lambda: app.fleet is not None and app.fleet.node is not None)
                 assert app.fleet is not None
                 script = app.fleet.node
-                assert isinstance(script, Script)
-                script.does = lambda event: (
+                assert isinstance(script, ScriptedNode)
+                script.effects_of = lambda event: (
                     [OperationCompleted("a.1", ApplyResult([1]))]
                     if isinstance(event, ClusterCall)
                     else [OperationCompleted(event.token, None)]
@@ -523,13 +466,13 @@
                 assert (await call(app, b"FLEET {}\n")).startswith(b'-ERR {"error":"bad-call","whom":"do"')
                 app.end()
                 await app.done.wait()
-                assert len(script.seen(LeaveCluster)) == 1
+                assert len(script.events_of_type(LeaveCluster)) == 1
                 again = open_storage(tmp_path / "s", "f", "a")  # let go
                 assert isinstance(again, ClusterStorage)
                 again.close()
 
     with scripted(monkeypatch):
-        play(test)
+        run_with_timeout(test)
 
 
 def test_a_writer_that_has_ended_takes_nothing(tmp_path: Path) -> None:
