Split connection leases by job, in the field's terms

Change: upstream_lease.py is one upstream's lease, closing_sockets.py waits for servers' ends, server_limits.py keeps the cluster's limits in step with the configured ones, rolling_restart_duties.py does what a restart wants; connection_leases.py joins them.

--- a/badgeryoke/gateway/application.py
+++ b/badgeryoke/gateway/application.py
@@ -233,7 +233,7 @@
             self.core.take(handed, self._hosts.numbers)
             self._front.share(OVERLAP_PART)
             if self._pools is not None:
-                self._pools.alone = False  # the process before answers what it has taken
+                self._pools.only_process = False  # the process before answers what it has taken
             log.info("state taken over: %d customers, %d servers", len(handed.ledgers), len(handed.peers))
         if self._drain.ending:
             return
@@ -319,10 +319,10 @@
             if found is None or (found.address, found.kind) != (old.address, old.kind):
                 link.drain()
                 if self._pools is not None and link.lease is not None:
-                    self._pools.forget(link.lease)
+                    self._pools.retire(link.lease)
                 del self._links[number]
         if self._pools is not None:
-            self._pools.listed(host.id for host in hosts.values())
+            self._pools.update_servers(host.id for host in hosts.values())
         for number, host in hosts.items():
             if number not in self._links:
                 self._links[number] = host, self._open_link(host, most)
@@ -335,7 +335,7 @@
 
     def _open_link(self, host: Endpoint, most: int) -> RespUpstream | DiameterUpstream:
         config, second = self._config, self._config.diameter
-        lease = None if self._pools is None else self._pools.lease(host.id)
+        lease = None if self._pools is None else self._pools.create_lease(host.id)
         made: RespUpstream | DiameterUpstream
         if second is not None and host.kind in second.server_kinds:
             made = DiameterUpstream(
@@ -363,7 +363,7 @@
                 lease=lease,
             )
         if lease is not None:
-            lease.link = made
+            lease.upstream = made
         return made
 
     def _sweep(self) -> None:
@@ -393,7 +393,7 @@
 
     @property
     def drained(self) -> bool:
-        """Clients are turned away, and the front knows (fleet.pools.Gateway)."""
+        """Clients are rejected, and the front knows (see `DrainableGateway`)."""
         return self._drain.state is Standing.PAUSED
 
     @property
@@ -435,9 +435,9 @@
     async def _part_with(self, fleet: ClusterService) -> None:
         """What this gateway leads for the fleet is handed over, in a time that is bounded."""
         if self._pools is not None:
-            self._pools.leave()
+            self._pools.drain()
             until = self._loop.time() + GIVE_BACK_S
-            while not self._pools.empty and self._loop.time() < until:
+            while not self._pools.is_empty and self._loop.time() < until:
                 await asyncio.sleep(0.01)
         await fleet.leave()
         fleet.close()
@@ -448,7 +448,7 @@
             log.info("ending: %d unanswered", self.core.unanswered)
             if self.fleet is not None:
                 if self._pools is not None:
-                    self._pools.leave()
+                    self._pools.drain()
                 self._leaving = asyncio.ensure_future(self.fleet.leave())
         self._term_at = min(self._term_at, self._loop.time())
         self._drained(ShutdownEvent.TERM)
--- /dev/null
+++ b/badgeryoke/gateway/cluster/rolling_restart_duties.py
@@ -0,0 +1,86 @@
+"""What a rolling restart asks of this gateway: pausing, resuming and ending it, and reporting how it stands."""
+
+from __future__ import annotations
+
+import logging
+from typing import Protocol
+
+from badgeryoke.cluster.connection_limits import ConnectionLeaseHolder
+from badgeryoke.cluster.node import ClusterNode
+from badgeryoke.cluster.rolling_restart.restart import DesiredState, RollingRestartAgent
+
+log = logging.getLogger(__name__)
+
+
+class DrainableGateway(Protocol):
+    """Of the gateway, what a rolling restart needs."""
+
+    def pause(self) -> str:
+        """Begin draining; what is in the way of it, or an empty text."""
+
+    def resume(self) -> str:
+        """Admit clients again; what is in the way of it, or an empty text."""
+
+    def end(self) -> None:
+        """Begin a graceful shutdown."""
+
+    @property
+    def drained(self) -> bool:
+        """Clients are rejected, and the load balancer in front knows."""
+
+    @property
+    def unanswered(self) -> int:
+        """Requests without an answer."""
+
+
+class RollingRestartDuties:
+    """Goes between the agent, which knows what is desired, and the gateway."""
+
+    def __init__(
+        self,
+        agent: RollingRestartAgent,
+        node: ClusterNode,
+        holder: ConnectionLeaseHolder,
+        gateway: DrainableGateway,
+    ) -> None:
+        self.agent = agent
+        self._node, self._holder, self._gateway = node, holder, gateway
+
+    def apply_restrictions(self, draining: bool) -> None:
+        """Have the node and the leases go by what the restart wants; `draining`: the process ends anyway."""
+        self._holder.grow = self.agent.grow
+        self._holder.leaving = draining or self.agent.lead_nothing
+        self._node.lead_nothing = self.agent.lead_nothing
+
+    def report_state(self) -> None:
+        """Tell the agent how this gateway stands."""
+        node, holder = self._node, self._holder
+        voting_replicas = [
+            replica for replica in node.replicas.values() if replica.me in replica.config.voters
+        ]
+        self.agent.tell(
+            leads=sum(replica.leading for replica in voting_replicas),
+            trimmed=all(pool.open - pool.closing <= pool.need for pool in holder.pools.values()),
+            drained=self._gateway.drained,
+            empty=not self._gateway.unanswered and holder.empty,
+            whole=node.founding.record is not None and all(replica.whole for replica in voting_replicas),
+        )
+
+    def carry_out(self, now_ms: float) -> None:
+        """Do what the restart wants now."""
+        for desired in self.agent.duties(now_ms):
+            log.info("rolling restart %s: %s", self.agent.record.get("roll"), desired.name.lower())
+            obstacle = self._apply(desired)
+            if obstacle:
+                log.warning("rolling restart: cannot %s: %s", desired.name.lower(), obstacle)
+
+    def _apply(self, desired: DesiredState) -> str:
+        """What is in the way, or an empty text."""
+        match desired:
+            case DesiredState.LEAVE:
+                self._gateway.end()
+                return ""
+            case DesiredState.PAUSE:
+                return self._gateway.pause()
+            case DesiredState.RESUME:
+                return self._gateway.resume()
--- a/badgeryoke/gateway/cluster/service.py
+++ b/badgeryoke/gateway/cluster/service.py
@@ -204,7 +204,7 @@
             self._fail,
         )
         if self.connection_leases is not None:
-            self.connection_leases.begin(node, self._invariants)
+            self.connection_leases.attach(node, self._invariants)
             self.connection_leases.wake = self._driver.wake
         if isinstance(node, LeaseClientHost):
             self._add_reservation_client(node, setup, self._driver)
--- a/badgeryoke/gateway/diameter/upstream_connection.py
+++ b/badgeryoke/gateway/diameter/upstream_connection.py
@@ -17,7 +17,7 @@
 from badgeryoke.gateway.diameter.peer import Peer, PeerIdentity, PeerState
 
 if TYPE_CHECKING:
-    from badgeryoke.gateway.cluster.connection_leases import UpstreamLease
+    from badgeryoke.gateway.cluster.upstream_lease import UpstreamLease
 
 log = logging.getLogger(__name__)
 
@@ -228,7 +228,7 @@
         elif (
             self._connection is not None
             and self._connection.state is PeerState.OPEN
-            and (self.lease is None or self.lease.held())
+            and (self.lease is None or self.lease.is_held())
         ):
             self._connection.post(self._connection.write, execution)
         elif len(self._waiting) >= MOST_OUT:
@@ -287,21 +287,21 @@
             execution.lost("no connection in time")
 
     @property
-    def need(self) -> int:
-        """See badgeryoke.gateway.cluster.connection_leases.Link."""
+    def connections_needed(self) -> int:
+        """See badgeryoke.gateway.cluster.upstream_lease.LeasedUpstream."""
         return int(bool(self._waiting) or (self._connection is not None and bool(self._connection.out)))
 
-    def shrink(self, many: int, all_: bool) -> None:
-        """See badgeryoke.gateway.cluster.connection_leases.Link."""
-        self.post(self._shrink, all_)
+    def close_connections(self, count: int, include_in_use: bool) -> None:
+        """See badgeryoke.gateway.cluster.upstream_lease.LeasedUpstream."""
+        self.post(self._shrink, include_in_use)
 
     def _shrink(self, all_: bool) -> None:
         connection = self._connection
         if connection is not None and (all_ or not connection.out):
             connection.stream.close()
 
-    def grown(self) -> None:
-        """See badgeryoke.gateway.cluster.connection_leases.Link."""
+    def capacity_available(self) -> None:
+        """See badgeryoke.gateway.cluster.upstream_lease.LeasedUpstream."""
         self.post(self._grown)
 
     def _grown(self) -> None:
--- a/badgeryoke/gateway/resp/upstream_connection.py
+++ b/badgeryoke/gateway/resp/upstream_connection.py
@@ -33,7 +33,7 @@
 from badgeryoke.gateway.response_stream import WINDOW, BufferBudget, ResponseStream
 
 if TYPE_CHECKING:
-    from badgeryoke.gateway.cluster.connection_leases import UpstreamLease
+    from badgeryoke.gateway.cluster.upstream_lease import UpstreamLease
 
 log = logging.getLogger(__name__)
 
@@ -233,7 +233,7 @@
     def _rested(self) -> _Connection | None:
         """An idle connection that is sound and has rested: the last used of them, unless its server may be
         closing even that."""
-        if self.lease is not None and not self.lease.held():
+        if self.lease is not None and not self.lease.is_held():
             return None
         before, since = self._loop.time() - REST_S, self._clock() - self._idle_ms
         for place in reversed(range(len(self._idle))):
@@ -267,7 +267,7 @@
 
     def _await_rest(self) -> None:
         """Attempts wait: look again when the first of the idle connections has rested."""
-        if self._idle and not self._resting and (self.lease is None or self.lease.held()):
+        if self._idle and not self._resting and (self.lease is None or self.lease.is_held()):
             self._resting = True
             wait_s = min(one.answered_at for one in self._idle) + REST_S - self._loop.time()
             self._loop.call_later(max(wait_s, 0.0), self.deliver, self._has_rested)
@@ -321,9 +321,9 @@
     def _free(self, connection: _Connection) -> None:
         """Put a connection to the next use: an attempt that waits, or the pool."""
         lease = self.lease
-        if self._closed or (lease is not None and lease.surplus > 0):
+        if self._closed or (lease is not None and lease.surplus_count > 0):
             if lease is not None:
-                lease.surplus -= 1
+                lease.surplus_count -= 1
             connection.stream.close()
             return
         connection.used_at = self._clock()
@@ -494,13 +494,13 @@
             connection.stream.close()
 
     @property
-    def need(self) -> int:
-        """See badgeryoke.gateway.cluster.connection_leases.Link."""
+    def connections_needed(self) -> int:
+        """See badgeryoke.gateway.cluster.upstream_lease.LeasedUpstream."""
         return len(self._all) - len(self._idle) - self._opening + len(self._waiting)
 
-    def shrink(self, many: int, all_: bool) -> None:
-        """See badgeryoke.gateway.cluster.connection_leases.Link."""
-        self.post(self._shrink, many, all_)
+    def close_connections(self, count: int, include_in_use: bool) -> None:
+        """See badgeryoke.gateway.cluster.upstream_lease.LeasedUpstream."""
+        self.post(self._shrink, count, include_in_use)
 
     def _shrink(self, many: int, all_: bool) -> None:
         busy = [one for one in self._all if one not in self._idle] if all_ else []
@@ -508,11 +508,11 @@
             if connection in self._idle:
                 self._idle.remove(connection)
             if self.lease is not None:
-                self.lease.surplus -= 1
+                self.lease.surplus_count -= 1
             connection.stream.close()
 
-    def grown(self) -> None:
-        """See badgeryoke.gateway.cluster.connection_leases.Link."""
+    def capacity_available(self) -> None:
+        """See badgeryoke.gateway.cluster.upstream_lease.LeasedUpstream."""
         self.post(self._grown)
 
     def _grown(self) -> None:
--- a/badgeryoke/testbed/cluster_benchmark.py
+++ b/badgeryoke/testbed/cluster_benchmark.py
@@ -56,12 +56,12 @@
 class Wanting:
     """A server link in whose use connections are."""
 
-    need = 2
+    connections_needed = 2
 
-    def shrink(self, many: int, all_: bool) -> None:
+    def close_connections(self, count: int, include_in_use: bool) -> None:
         """None is open."""
 
-    def grown(self) -> None:
+    def capacity_available(self) -> None:
         """None is dialled."""
 
 
@@ -94,11 +94,11 @@
         service.connection_leases = ConnectionLeases(
             fleet, ActorScheduler(loop), service.clock.monotonic_ms, 30_000.0, Idle()
         )
-        service.connection_leases.listed(f"s{at}" for at in range(SERVERS))
+        service.connection_leases.update_servers(f"s{at}" for at in range(SERVERS))
         for at in range(SERVERS):
-            lease = service.connection_leases.lease(f"s{at}")
+            lease = service.connection_leases.create_lease(f"s{at}")
             assert lease is not None
-            lease.link = Wanting()
+            lease.upstream = Wanting()
     service.start()
     profile: cProfile.Profile | None = None
     while line := await reader.readline():
--- a/tests/gateway/cluster/test_connection_leases.py
+++ b/tests/gateway/cluster/test_connection_leases.py
@@ -35,7 +35,8 @@
 from badgeryoke.gateway.actor import ActorScheduler
 from badgeryoke.gateway.attempt import Attempt, AttemptEnd, Request
 from badgeryoke.gateway.cluster.clock import boot_time_ms
-from badgeryoke.gateway.cluster.connection_leases import GONE_MS, SIFT_MS, ConnectionLeases
+from badgeryoke.gateway.cluster.connection_leases import ConnectionLeases
+from badgeryoke.gateway.cluster.server_limits import REMOVAL_CHECK_INTERVAL_MS, REMOVAL_DELAY_MS
 from badgeryoke.gateway.cluster.settings import ClusterSettings, Servers
 from badgeryoke.gateway.config.operators_file import Operators
 from badgeryoke.gateway.diameter.peer import PeerIdentity
@@ -73,7 +74,7 @@
         self.pools = ConnectionLeases(fleet, self.loop, boot_time_ms, IDLE_MS, self)
         setup = NodeSetup("f", name, "1", (Member(name, "h"),), timings=TIMINGS)
         self.node = ClusterNode(setup, {}, Random(1), 0.0, 0.0, self.rules)
-        self.lease = lease = self.pools.lease("s")
+        self.lease = lease = self.pools.create_lease("s")
         assert lease is not None
         self.link: Any = (
             DiameterUpstream(
@@ -99,7 +100,7 @@
                 lease=lease,
             )
         )
-        lease.link = self.link
+        lease.upstream = self.link
         self.ends: list[AttemptEnd] = []
         self.asking = 0
         group.gates.append(self)
@@ -117,7 +118,7 @@
 
     @property
     def open(self) -> int:
-        keeper = self.pools.keeper
+        keeper = self.pools.lease_holder
         return keeper.pools["s"].open if keeper is not None and "s" in keeper.pools else 0
 
     def ask(self, deadline_ms: float = 2 * PATIENT_MS) -> Attempt:
@@ -157,7 +158,7 @@
         while True:
             now = boot_time_ms()
             for gate in self.gates:
-                if gate.pools.keeper is not None:
+                if gate.pools.lease_holder is not None:
                     for command in gate.pools.poll(now, now):
                         gate.pools.answered(
                             boot_time_ms(),
@@ -206,7 +207,7 @@
     group = Group()
     made = [Gate(name, server.port, group, diameter) for name in names]
     for gate in made:
-        gate.pools.begin(gate.node, gate.rules)
+        gate.pools.attach(gate.node, gate.rules)
     task = asyncio.ensure_future(group.run())
     try:
         yield group, *made
@@ -334,7 +335,7 @@
         ):
             a.ask()
             await soon(lambda: a.ends)
-            a.pools.now = lambda: boot_time_ms() + 1e5
+            a.pools.monotonic_ms = lambda: boot_time_ms() + 1e5
             a.haste()
             a.ask()  # before anything else could look
             await soon(lambda: len(a.ends) == 2)
@@ -348,7 +349,7 @@
         async with Counted() as server, gates(server, "a") as (_, a):
             a.ask()
             await soon(lambda: a.ends)
-            rolled = a.pools.rolled
+            rolled = a.pools.restart_agent
 
             def stands(stand: str, **more: Any) -> None:
                 (read,) = [
@@ -373,14 +374,14 @@
 
             assert a.open == 1  # idle, and kept
             stands("GRANTING", told="ready")
-            await soon(lambda: a.open == 0 and a.pools.empty)
+            await soon(lambda: a.open == 0 and a.pools.is_empty)
             assert a.node.lead_nothing and not a.did
             stands("PAUSING", told="paused")
             await soon(lambda: a.did == ["pause"])
             a.drained = True
             a.link.retune((), PATIENT_MS, 30_000.0, 1.0)
             a.ask()  # a client that did not hear: it is served still, and the connection given back
-            await soon(lambda: len(a.ends) == 2 and a.pools.empty)
+            await soon(lambda: len(a.ends) == 2 and a.pools.is_empty)
             assert a.ends[1].verdict.name == "OK"
             stands("UNDOING", told="resumed")
             await soon(lambda: a.did == ["pause", "resume"] and not a.node.lead_nothing)
@@ -394,7 +395,7 @@
     async def test() -> None:
         group = Group()
         gate = Gate("A", 1, group)
-        gate.pools.begin(gate.node, gate.rules)
+        gate.pools.attach(gate.node, gate.rules)
         gate.pools.close()  # no look but this test's
         gate.node.states["g0"] = SimpleNamespace(parts={"connections": group.part}, index=1)  # type: ignore[assignment]
         gate.node.states[FLEET] = GroupStateMachine(FLEET, TIMINGS, gate.rules)  # it holds no limits
@@ -409,18 +410,20 @@
             ),
         )
         now = 0.0
-        gate.pools.listed(["s"])  # which nobody uses
-        while now <= GONE_MS:
+        gate.pools.update_servers(["s"])  # which nobody uses
+        while now <= REMOVAL_DELAY_MS:
             assert "gone" in group.part.servers
             for command in gate.pools.poll(now, now):
                 group.part.apply(now, command)
-            now += SIFT_MS
+            now += REMOVAL_CHECK_INTERVAL_MS
         assert list(group.part.servers) == ["s", "used"]
         del group.part.servers["s"]  # by a leader whose list did not name it
-        gate.pools._leases["s"][0].link = SimpleNamespace(need=1, grown=lambda: None)
+        gate.pools._leases["s"][0].upstream = SimpleNamespace(
+            connections_needed=1, capacity_available=lambda: None
+        )
         while "s" not in group.part.servers:
             now += 100.0
-            assert now < 2 * GONE_MS
+            assert now < 2 * REMOVAL_DELAY_MS
             for command in gate.pools.poll(now, now):
                 gate.pools.answered(now, command, group.part.apply(now, command))
 
--- a/tests/gateway/resp/test_retries.py
+++ b/tests/gateway/resp/test_retries.py
@@ -416,10 +416,12 @@
     async def test() -> None:
         async with node() as at:
             made = await at.idle()
-            lease = at.link.lease = SimpleNamespace(held=lambda: False, may_open=lambda: False, surplus=0)  # type: ignore
+            lease = at.link.lease = SimpleNamespace(
+                is_held=lambda: False, may_open=lambda: False, surplus_count=0
+            )  # type: ignore
             at.start("r2")
-            lease.held = lambda: True
-            at.link.grown()
+            lease.is_held = lambda: True
+            at.link.capacity_available()
             assert b"r2" in await read(made, b"r2") and await at.accepts_none()
 
     play(test)
