--- a/tests/gateway/cluster/test_connection_leases.py
+++ b/tests/gateway/cluster/test_connection_leases.py
@@ -34,15 +34,16 @@
 from badgeryoke.decisions.interface import Verdict
 from badgeryoke.gateway.actor import ActorScheduler
 from badgeryoke.gateway.attempt import Attempt, AttemptEnd, Request
-from badgeryoke.gateway.cluster.connection_leases import GONE_MS, SIFT_MS, ConnectionLeases
-from badgeryoke.gateway.cluster.service import boot_ms
+from badgeryoke.gateway.cluster.clock import boot_time_ms
+from badgeryoke.gateway.cluster.connection_leases import ConnectionLeases
+from badgeryoke.gateway.cluster.server_limits import REMOVAL_CHECK_INTERVAL_MS, REMOVAL_DELAY_MS
 from badgeryoke.gateway.cluster.settings import ClusterSettings, Servers
 from badgeryoke.gateway.config.operators_file import Operators
 from badgeryoke.gateway.diameter.peer import PeerIdentity
 from badgeryoke.gateway.diameter.upstream_connection import DiameterUpstream
 from badgeryoke.gateway.resp.upstream_connection import RespUpstream
-from tests.gateway.cluster.test_service import section
 from tests.gateway.resp.test_client_connection import play
+from tests.support.cluster_service import cluster_settings
 from tests.support.stand_ins import (
     HOST,
     Backend,
@@ -70,16 +71,16 @@
         self.did: list[str] = []
         self.drained, self.unanswered = False, 0
         fleet = ClusterSettings(servers=Servers(connections=MOST))
-        self.pools = ConnectionLeases(fleet, self.loop, boot_ms, IDLE_MS, self)
+        self.pools = ConnectionLeases(fleet, self.loop, boot_time_ms, IDLE_MS, self)
         setup = NodeSetup("f", name, "1", (Member(name, "h"),), timings=TIMINGS)
         self.node = ClusterNode(setup, {}, Random(1), 0.0, 0.0, self.rules)
-        self.lease = lease = self.pools.lease("s")
+        self.lease = lease = self.pools.create_lease("s")
         assert lease is not None
         self.link: Any = (
             DiameterUpstream(
                 (HOST, port),
                 self.loop,
-                boot_ms,
+                boot_time_ms,
                 me=PeerIdentity("g", "r", HOST, 1),
                 services={},
                 connect_ms=PATIENT_MS,
@@ -91,7 +92,7 @@
             else RespUpstream(
                 (HOST, port),
                 self.loop,
-                boot_ms,
+                boot_time_ms,
                 report_names=(),
                 connect_ms=PATIENT_MS,
                 idle_ms=30_000.0,
@@ -99,7 +100,7 @@
                 lease=lease,
             )
         )
-        lease.link = self.link
+        lease.upstream = self.link
         self.ends: list[AttemptEnd] = []
         self.asking = 0
         group.gates.append(self)
@@ -117,12 +118,12 @@
 
     @property
     def open(self) -> int:
-        keeper = self.pools.keeper
+        keeper = self.pools.lease_holder
         return keeper.pools["s"].open if keeper is not None and "s" in keeper.pools else 0
 
     def ask(self, deadline_ms: float = 2 * PATIENT_MS) -> Attempt:
         """One attempt."""
-        now = boot_ms()
+        now = boot_time_ms()
         made = Attempt(
             Request(f"{len(self.ends):016x}", "c", "p", ord(self.name), deadline_ms, 1.0, 1, safe=True),
             0,
@@ -155,12 +156,12 @@
 
     async def run(self) -> None:
         while True:
-            now = boot_ms()
+            now = boot_time_ms()
             for gate in self.gates:
-                if gate.pools.keeper is not None:
+                if gate.pools.lease_holder is not None:
                     for command in gate.pools.poll(now, now):
                         gate.pools.answered(
-                            boot_ms(),
+                            boot_time_ms(),
                             command,
                             NoLeader("g0", "cut off")
                             if gate.name in self.cut
@@ -206,7 +207,7 @@
     group = Group()
     made = [Gate(name, server.port, group, diameter) for name in names]
     for gate in made:
-        gate.pools.begin(gate.node, gate.rules)
+        gate.pools.attach(gate.node, gate.rules)
     task = asyncio.ensure_future(group.run())
     try:
         yield group, *made
@@ -253,7 +254,7 @@
 def test_without_a_lease_nothing_is_opened_and_each_query_is_answered_by_its_deadline(tmp_path: Path) -> None:
     async def test() -> None:
         async with Backend() as node, Discovery(entry("s", node.port)) as list_:
-            operators = Operators(fleet=section(tmp_path, servers=Servers(connections=MOST)))
+            operators = Operators(fleet=cluster_settings(tmp_path, servers=Servers(connections=MOST)))
             made = replace(
                 config(list_.port, None, roster(entry("s", node.port))), name="a", operators=operators
             )
@@ -275,13 +276,13 @@
             attempt = a.ask()
             await soon(lambda: server.held("a"))
             server.deaf = deaf
-            begun = boot_ms()
+            begun = boot_time_ms()
             attempt.abandon(Verdict.CANCELLED)
             await soon(lambda: len(a.link._all) == 0)
             if deaf:
                 assert (a.open, server.held("a")) == (1, 1)
             await soon(lambda: a.open == 0)
-            assert not deaf or boot_ms() - begun >= IDLE_MS
+            assert not deaf or boot_time_ms() - begun >= IDLE_MS
             assert len(server.by) == int(deaf)
             server.release.set()
 
@@ -334,7 +335,7 @@
         ):
             a.ask()
             await soon(lambda: a.ends)
-            a.pools.now = lambda: boot_ms() + 1e5
+            a.pools.monotonic_ms = lambda: boot_time_ms() + 1e5
             a.haste()
             a.ask()  # before anything else could look
             await soon(lambda: len(a.ends) == 2)
@@ -348,14 +349,14 @@
         async with Counted() as server, gates(server, "a") as (_, a):
             a.ask()
             await soon(lambda: a.ends)
-            rolled = a.pools.rolled
+            rolled = a.pools.restart_agent
 
             def stands(stand: str, **more: Any) -> None:
                 (read,) = [
-                    one for one in rolled.poll(boot_ms() + 1e6, 0.0) if isinstance(one, ReadDesiredState)
+                    one for one in rolled.poll(boot_time_ms() + 1e6, 0.0) if isinstance(one, ReadDesiredState)
                 ]
                 rolled.answered(
-                    boot_ms(),
+                    boot_time_ms(),
                     read,
                     ApplyResult(
                         {
@@ -373,14 +374,14 @@
 
             assert a.open == 1  # idle, and kept
             stands("GRANTING", told="ready")
-            await soon(lambda: a.open == 0 and a.pools.empty)
+            await soon(lambda: a.open == 0 and a.pools.is_empty)
             assert a.node.lead_nothing and not a.did
             stands("PAUSING", told="paused")
             await soon(lambda: a.did == ["pause"])
             a.drained = True
             a.link.retune((), PATIENT_MS, 30_000.0, 1.0)
             a.ask()  # a client that did not hear: it is served still, and the connection given back
-            await soon(lambda: len(a.ends) == 2 and a.pools.empty)
+            await soon(lambda: len(a.ends) == 2 and a.pools.is_empty)
             assert a.ends[1].verdict.name == "OK"
             stands("UNDOING", told="resumed")
             await soon(lambda: a.did == ["pause", "resume"] and not a.node.lead_nothing)
@@ -394,7 +395,7 @@
     async def test() -> None:
         group = Group()
         gate = Gate("A", 1, group)
-        gate.pools.begin(gate.node, gate.rules)
+        gate.pools.attach(gate.node, gate.rules)
         gate.pools.close()  # no look but this test's
         gate.node.states["g0"] = SimpleNamespace(parts={"connections": group.part}, index=1)  # type: ignore[assignment]
         gate.node.states[FLEET] = GroupStateMachine(FLEET, TIMINGS, gate.rules)  # it holds no limits
@@ -409,18 +410,20 @@
             ),
         )
         now = 0.0
-        gate.pools.listed(["s"])  # which nobody uses
-        while now <= GONE_MS:
+        gate.pools.update_servers(["s"])  # which nobody uses
+        while now <= REMOVAL_DELAY_MS:
             assert "gone" in group.part.servers
             for command in gate.pools.poll(now, now):
                 group.part.apply(now, command)
-            now += SIFT_MS
+            now += REMOVAL_CHECK_INTERVAL_MS
         assert list(group.part.servers) == ["s", "used"]
         del group.part.servers["s"]  # by a leader whose list did not name it
-        gate.pools._leases["s"][0].link = SimpleNamespace(need=1, grown=lambda: None)
+        gate.pools._leases["s"][0].upstream = SimpleNamespace(
+            connections_needed=1, capacity_available=lambda: None
+        )
         while "s" not in group.part.servers:
             now += 100.0
-            assert now < 2 * GONE_MS
+            assert now < 2 * REMOVAL_DELAY_MS
             for command in gate.pools.poll(now, now):
                 gate.pools.answered(now, command, group.part.apply(now, command))
 
