--- a/badgeryoke/cluster/connection_limits/limits.py
+++ b/badgeryoke/cluster/connection_limits/limits.py
@@ -48,8 +48,8 @@
 class ConnectionLimits:
     """The limits of a group's servers, and the leases on them.  A `StateMachinePart`."""
 
-    def __init__(self, rules: Invariants, timings: Timings) -> None:
-        self._invariants, self._timings = rules, timings
+    def __init__(self, invariants: Invariants, timings: Timings) -> None:
+        self._invariants, self._timings = invariants, timings
         self.servers: dict[str, ServerLimit] = {}
         # Over all servers, so that one that was removed and comes back does not begin at 1 again.
         self._last_lease_number = 0
--- a/badgeryoke/cluster/rolling_restart/waves.py
+++ b/badgeryoke/cluster/rolling_restart/waves.py
@@ -60,8 +60,8 @@
 class RollingRestarts:
     """The rolling restarts of a cluster; one at a time is active.  A `StateMachinePart`."""
 
-    def __init__(self, rules: Invariants) -> None:
-        self._invariants = rules
+    def __init__(self, invariants: Invariants) -> None:
+        self._invariants = invariants
         self._scheduler = RestartScheduler()
         self.restarts: dict[str, RollingRestart] = {}
 
