--- a/badgeryoke/gateway/cluster/server_limits.py
+++ b/badgeryoke/gateway/cluster/server_limits.py
@@ -4,11 +4,8 @@
 
 from collections.abc import Iterable
 
-from badgeryoke.cluster.connection_limits import (
-    ConnectionLeaseHolder,
-    RemoveConnectionLimit,
-    SetConnectionLimit,
-)
+from badgeryoke.cluster.connection_limits.commands import RemoveConnectionLimit, SetConnectionLimit
+from badgeryoke.cluster.connection_limits.lease_holder import ConnectionLeaseHolder
 from badgeryoke.cluster.node import ClusterNode
 from badgeryoke.cluster.state_machine.part import FLEET, Command
 from badgeryoke.gateway.cluster.settings import Servers
@@ -49,15 +46,15 @@
         their servers."""
         commands: list[Command] = [
             SetConnectionLimit(
-                id=f"limit/{holder.me}/{server}/{now_ms:.0f}",
+                id=f"limit/{holder.holder}/{server}/{now_ms:.0f}",
                 server=server,
-                most=limit,
-                idle_ms=idle_ms,
+                max_connections=limit,
+                idle_timeout_ms=idle_ms,
             )
-            for server in holder.unknown
+            for server in holder.servers_without_limit
             if (limit := self.listed_limits.get(server))
         ]
-        holder.unknown.clear()
+        holder.servers_without_limit.clear()
         return commands
 
     def stale_limits(self, node: ClusterNode, now_ms: float) -> list[Command]:
@@ -84,5 +81,5 @@
             if group == FLEET or not node.replicas[group].leading:
                 continue
             for server, limited in state.parts["connections"].servers.items():
-                if server not in self.listed_limits and not limited.parts.held:
+                if server not in self.listed_limits and not limited.pool.held:
                     yield server, state.index
