--- a/badgeryoke/decisions/counter_health/ceiling_guard.py
+++ b/badgeryoke/decisions/counter_health/ceiling_guard.py
@@ -18,7 +18,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from badgeryoke.decisions.policy.engine import CustomerQuota
+    from badgeryoke.decisions.policy.quota import CustomerQuota
 
 KEPT_MS = 6000.0  # own sends are remembered for this long: longer than the slowest noticing
 STEP_MS = 25.0  # sends within one are kept as one, at the time of its last: KEPT_MS / STEP_MS + 1 at most
@@ -45,14 +45,14 @@
 
     def wait(self, now: float, led: CustomerQuota, units: float) -> float:
         """How long a try must wait for the bound, ms; 0 where it may go to the module."""
-        plan, spread = led.plan, led.spread
-        if led.quota.half is not None:  # the part of the quota is the narrower bound
+        plan, spread = led.plan, led.gateway_set_size
+        if led.bucket.partial_share is not None:  # the part of the quota is the narrower bound
             return 0.0
-        moment = max(self._common_since(now, led.first, spread), now - KEPT_MS)
+        moment = max(self._common_since(now, led.first_gateway, spread), now - KEPT_MS)
         sent = self._sent.get(led.customer, deque())
         held = self._held_of.get(led.customer, 0.0)
         spent = held + sum(part for at, part in sent if at >= moment)
-        left = led.quota.room(now) - plan.rate * (now - moment) / 1000.0 + spent
+        left = led.bucket.capacity(now) - plan.rate * (now - moment) / 1000.0 + spent
         # The own part of the ceiling's store, from the common moment on: it fills, but never beyond its
         # depth.
         part_of = USED / spread
@@ -65,7 +65,7 @@
         level = min(level + (now - last) * rate, most) - held
         # No sooner than the arrival time lets it through: else it would come back to be refused again.
         short = max(min(units, most) - level, 0.0) / rate
-        return max(short, led.quota.wait(now, units)) if short else 0.0
+        return max(short, led.bucket.wait(now, units)) if short else 0.0
 
     def hold(self, rid: str, customer: int, units: float) -> None:
         """A try goes to the module."""
--- a/badgeryoke/decisions/counter_health/monitored_policy.py
+++ b/badgeryoke/decisions/counter_health/monitored_policy.py
@@ -47,7 +47,7 @@
             settings.gateway_index, settings.gateway_count, settings.counter_timeout_ms
         )
         self.quota = self.module._quota
-        self.quota.sight = self.watch.sight
+        self.quota.visibility = self.watch.sight
         self._plans: dict[str, Plan] = {plan.name: plan for plan in settings.plans}
         self._guard = CeilingGuard(self.watch.common_since)
         self.watch.sight.spent = self._spent
@@ -69,9 +69,9 @@
         sight = self.watch.sight
         return self._guard.since(customer, sight.changed - sight.unseen_ms)
 
-    def retune(self, settings: Settings) -> None:
+    def update_settings(self, settings: Settings) -> None:
         """Go by new settings."""
-        self.module.retune(settings)
+        self.module.update_settings(settings)
         self._plans = {plan.name: plan for plan in settings.plans}
 
     def avoided(self, now: float) -> int:
@@ -102,7 +102,7 @@
                 self.watch.tried()
                 plan = self._plans.get(event.plan)
                 if plan is not None and plan.ceiling_rate > 0 and plan.rate > 0:
-                    wait = self._guard.wait(now, self.quota.ledger(now, event), event.units)
+                    wait = self._guard.wait(now, self.quota.quota_for(now, event), event.units)
                     if wait > 0:
                         return [*before, Reject(event.id, max(wait, 1.0))]
                     self._guard.hold(event.id, event.customer, event.units)
--- a/badgeryoke/decisions/counter_health/visibility.py
+++ b/badgeryoke/decisions/counter_health/visibility.py
@@ -5,7 +5,7 @@
 sight of a set of g hold k/g of rate and burst among them, and the parts of all sides sum to no more than
 the whole.  A gateway that cannot reach the counter is alone: 1/g.
 
-The part is a meter of its own behind the quota's (`Meter.half`), which is charged with the same units.  It
+The part is a meter of its own behind the quota's (`GcraBucket.partial_share`), which is charged with the same units.  It
 starts from the same theoretical arrival time, which means: as full, in parts of its burst.  When all are
 in sight again it is given up, and the quota's meter goes on from the emptier of the two: what the others
 were left counts as used, whatever they made of it.  So what comes to light of them in the first total
@@ -18,7 +18,7 @@
 from collections.abc import Callable
 from copy import copy
 
-from badgeryoke.decisions.quota_protocols import CustomerQuota, M
+from badgeryoke.decisions.quota_protocols import BucketT, CustomerQuota
 
 PROBE_MS = 1000.0  # between two calls for a customer whose part of the counter is gone
 LOST_MS, LOST_CALLS = 400.0, 2  # a customer's calls fail for so long, and so many: its name's part is gone
@@ -81,20 +81,24 @@
             return min(seen * room, 1.0)
         return seen
 
-    def apply(self, now: float, led: CustomerQuota[M]) -> None:
+    def apply(self, now: float, led: CustomerQuota[BucketT]) -> None:
         """Bring a customer's meters in line with this version."""
-        plan, quota, old = led.plan, led.quota, led.quota.half
+        plan, quota, old = led.plan, led.bucket, led.bucket.partial_share
         if plan.rate <= 0:
             return
-        first_seen = led.seen == now and not led.told
-        led.version = self.version
+        first_seen = led.synchronized_at == now and not led.synchronized
+        led.visibility_version = self.version
         room = math.inf
         if plan.ceiling_rate > 0:
             room = max(USED * min(plan.ceiling_rate / plan.rate, plan.ceiling_burst / plan.burst), 1.0)
-        part = 1.0 / led.spread if led.customer in self._lost else self.part(led.first, led.spread, room)
+        part = (
+            1.0 / led.gateway_set_size
+            if led.customer in self._lost
+            else self.part(led.first_gateway, led.gateway_set_size, room)
+        )
         if part >= 1.0:
             if old is not None:
-                quota.half = None
+                quota.partial_share = None
                 quota.tat = max(quota.tat, old.tat)
                 self._rejoined.add(led.customer)
             return
@@ -106,21 +110,21 @@
         elif tat > self.changed:
             # It was being used while the others were out of sight already: by about the whole rate, of which
             # the part was due.  Each side pays back its own excess.
-            excess = self.spent(led.customer) * quota.per_unit
+            excess = self.spent(led.customer) * quota.interval_ms
             if not self.alone(led):  # unheard, little was sent; with a half's answers, up to the whole
                 excess = max(excess, self.unseen_ms)
             excess *= 1.0 / part - 1.0
             tat += min(excess, quota.tolerance)
         half = copy(quota)
-        half.half, half.tat = None, tat
-        half.set(plan.rate * part, plan.burst * part)
-        quota.half = half
+        half.partial_share, half.tat = None, tat
+        half.configure(plan.rate * part, plan.burst * part)
+        quota.partial_share = half
 
-    def alone(self, led: CustomerQuota[M]) -> bool:
+    def alone(self, led: CustomerQuota[BucketT]) -> bool:
         """Whether nothing is heard of this customer's use elsewhere."""
         return self.deaf or led.customer in self._lost
 
-    def hushed(self, now: float, led: CustomerQuota[M]) -> bool:
+    def hushed(self, now: float, led: CustomerQuota[BucketT]) -> bool:
         """Whether no call is made for a customer: none would be answered.
 
         One goes now and then where only its part of the counter is gone, to see it come back; for the whole
@@ -135,7 +139,7 @@
             self._unheard[led.customer] = LOST_CALLS, now
         return not due
 
-    def told(self, now: float, led: CustomerQuota[M], good: bool) -> None:
+    def told(self, now: float, led: CustomerQuota[BucketT], good: bool) -> None:
         """A customer's call has its answer.  Where all fail for a while though others are answered, the
         part of the counter that has the customer's name is gone."""
         customer = led.customer
@@ -155,7 +159,7 @@
             del self._unheard[gone]
             self._lost.discard(gone)
 
-    def heard(self, led: CustomerQuota[M], others: float) -> float:
+    def heard(self, led: CustomerQuota[BucketT], others: float) -> float:
         """What to charge of the others' units in a total: nothing in the first after a rejoin."""
         if led.customer in self._rejoined:
             self._rejoined.discard(led.customer)
--- a/badgeryoke/decisions/interface.py
+++ b/badgeryoke/decisions/interface.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
+from typing import Literal
 
 
 class Idempotency(Enum):
@@ -346,5 +347,7 @@
 
 
 ServerFilter = Callable[[Server], bool] | None  # which servers may be used; None: all
+RetryFilter = ServerFilter | Literal[False]  # False: none
+ServerChoice = tuple[Server, float]  # and its expected latency, ms
 Action = SendAttempt | CancelAttempt | Reject | Fail | AddToCounter | CheckHealth | SetTimer | Subscribe | Log
 Actions = list[Action]
--- a/badgeryoke/decisions/priority_admission.py
+++ b/badgeryoke/decisions/priority_admission.py
@@ -34,6 +34,7 @@
     Verdict,
 )
 from badgeryoke.decisions.policy import engine
+from badgeryoke.decisions.policy.quota import CustomerQuota, GcraBucket
 
 # of what servers are held to bear may be out above that, while they are slow, of the first class; ...
 OVER = 3.0
@@ -49,7 +50,7 @@
 
     def __init__(self, settings: Settings, seed: int) -> None:
         super().__init__(settings, seed)
-        self._aside: engine.CustomerQuota | None = None  # the book of all reserved requests: it has no quota
+        self._aside: CustomerQuota | None = None  # the book of all reserved requests: it has no quota
         self._verdict: Verdict | None = None  # of the attempt whose end is being handled
         self._pressed: dict[
             int, float
@@ -58,97 +59,104 @@
     def _presses(self, now: float, customer: int) -> bool:
         return bool(self._pressed) and now - self._pressed.get(customer, -KEPT_MS) < KEPT_MS
 
-    def _total(self, now: float, event: CounterReply) -> list[Action]:
+    def _counter_replied(self, now: float, event: CounterReply) -> list[Action]:
         led = self._quota._calls.get(event.name) if self._pressed else None
         if led is not None and self._presses(now, led.customer):  # they are judged in this order
-            led.pending = dict(sorted(led.pending.items(), key=lambda held: not self._reserved(held[0])))
-        return super()._total(now, event)
+            led.requests_in_call = dict(
+                sorted(led.requests_in_call.items(), key=lambda held: not self._reserved(held[0]))
+            )
+        return super()._counter_replied(now, event)
 
     def _reserved(self, rid: str) -> bool:
-        job = self._jobs.get(rid)
+        job = self._pending.get(rid)
         return job is not None and job.request.reservation_rank > 0
 
-    def _request(self, now: float, event: Request) -> list[Action]:
+    def _request_arrived(self, now: float, event: Request) -> list[Action]:
         if event.reservation_rank:
             return self._first(now, event)
         if self._presses(now, event.customer):  # asked in vain, it would look used to the others
-            led = self._quota.ledger(now, event)
+            led = self._quota.quota_for(now, event)
             if (lacks := self._lacks(now, led, event.units)) > 0:
-                return [Reject(event.id, max(lacks * led.quota.per_unit, 1.0))]
-        return super()._request(now, event)
+                return [Reject(event.id, max(lacks * led.bucket.interval_ms, 1.0))]
+        return super()._request_arrived(now, event)
 
     @staticmethod
-    def _lacks(now: float, led: engine.CustomerQuota, units: float) -> float:
+    def _lacks(now: float, led: CustomerQuota, units: float) -> float:
         """By how many units a request that is not reserved would cut into what is kept."""
-        if not led.told or led.head is None:
+        if not led.synchronized or led.headroom_bucket is None:
             return 0.0
-        return min(units + KEPT * led.plan.burst, led.plan.burst) - led.quota.room(now)
+        return min(units + KEPT * led.plan.burst, led.plan.burst) - led.bucket.capacity(now)
 
     def _first(self, now: float, event: Request) -> list[Action]:
         """A reserved request: to a server, unless a ceiling may be in its way."""
         cls = self._classes.get(event.request_class)
         if cls is None:
             raise ValueError(f"class {event.request_class!r} is not among the settings")
-        led = self._quota.ledger(now, event)
+        led = self._quota.quota_for(now, event)
         if self._aside is None:
-            self._aside = engine.CustomerQuota(Plan("reserved"), event, self._settings, now, now)
-        job = self._jobs[event.id] = engine.PendingRequest(
+            self._aside = CustomerQuota(Plan("reserved"), event, self._settings, now, now)
+        job = self._pending[event.id] = engine.PendingRequest(
             event, cls, self._aside, now, self._settings.max_attempts
         )
-        if led.plan.rate <= 0 or led.head is None:
-            return self._send(now, job)
+        if led.plan.rate <= 0 or led.headroom_bucket is None:
+            return self._send_attempt(now, job)
         if len(self._pressed) >= MOST_PRESSED:
             self._pressed.clear()
         self._pressed[event.customer] = now
-        if led.head.room(now) >= event.units:
-            return self._under(now, job, led.head)
+        if led.headroom_bucket.capacity(now) >= event.units:
+            return self._under(now, job, led.headroom_bucket)
         if (
-            led.told and (wait := led.quota.wait(now, event.units)) > 0
+            led.synchronized and (wait := led.bucket.wait(now, event.units)) > 0
         ):  # asked in vain, it would look used to others
-            return self._refuse(now, job, wait)
-        sight, timeout = self._quota.sight, self._settings.counter_timeout_ms
+            return self._reject(now, job, wait)
+        sight, timeout = self._quota.visibility, self._settings.counter_timeout_ms
         if (
             self._settings.has_counter
-            and event.remaining_ms > engine.HOLD_TIMES * timeout
+            and event.remaining_ms > engine.HOLD_TIMEOUT_MULTIPLE * timeout
             and not (sight and sight.hushed(now, led))
         ):
-            led.waiting[event.id] = event.units
-            return self._quota.ask(now, led)
-        return self._unconfirmed(now, job)
+            led.requests_waiting[event.id] = event.units
+            return self._quota.synchronize(now, led)
+        return self._admit_unconfirmed(now, job)
 
-    def _under(self, now: float, job: engine.PendingRequest, meter: engine.GcraBucket) -> list[Action]:
+    def _under(self, now: float, job: engine.PendingRequest, meter: GcraBucket) -> list[Action]:
         """Send, and charge what proves that the ceiling holds."""
-        actions = self._send(now, job)
+        actions = self._send_attempt(now, job)
         if job.attempts:
-            meter.take(job.request.units, now)
+            meter.consume(job.request.units, now)
         return actions
 
-    def _unconfirmed(self, now: float, job: engine.PendingRequest, spare: bool = False) -> list[Action]:
+    def _admit_unconfirmed(self, now: float, job: engine.PendingRequest, spare: bool = False) -> list[Action]:
         request = job.request
         if not request.reservation_rank:
-            led = job.ledger
+            led = job.quota
             if (
-                led.head
+                led.headroom_bucket
                 and self._presses(now, request.customer)
-                and (led.head.room(now) - request.units < KEPT * led.head.tolerance / led.head.per_unit)
+                and (
+                    led.headroom_bucket.capacity(now) - request.units
+                    < KEPT * led.headroom_bucket.tolerance / led.headroom_bucket.interval_ms
+                )
             ):
-                return self._refuse(now, job, job.ledger.quota.per_unit)
-            return super()._unconfirmed(now, job, spare)
-        led, units = self._quota.ledger(now, request), request.units
-        if led.head and led.head.room(now) >= units:
-            return self._under(now, job, led.head)
-        half = led.quota.half  # what is left to this side of a split, whoever is out of sight
-        if half and led.quota.wait(now, units) <= 0:
-            led.own.per_unit = half.per_unit / led.part()
-            if (self._quota.sight and self._quota.sight.alone(led)) or led.own.wait(now, units) <= 0:
-                led.own.take(units, now)
-                return self._under(now, job, led.quota)
-        return self._refuse(now, job, led.quota.per_unit)
-
-    def _refuse(self, now: float, job: engine.PendingRequest, wait: float) -> list[Action]:
+                return self._reject(now, job, job.quota.bucket.interval_ms)
+            return super()._admit_unconfirmed(now, job, spare)
+        led, units = self._quota.quota_for(now, request), request.units
+        if led.headroom_bucket and led.headroom_bucket.capacity(now) >= units:
+            return self._under(now, job, led.headroom_bucket)
+        half = led.bucket.partial_share  # what is left to this side of a split, whoever is out of sight
+        if half and led.bucket.wait(now, units) <= 0:
+            led.own_bucket.interval_ms = half.interval_ms / led.own_share()
+            if (self._quota.visibility and self._quota.visibility.alone(led)) or led.own_bucket.wait(
+                now, units
+            ) <= 0:
+                led.own_bucket.consume(units, now)
+                return self._under(now, job, led.bucket)
+        return self._reject(now, job, led.bucket.interval_ms)
+
+    def _reject(self, now: float, job: engine.PendingRequest, wait: float) -> list[Action]:
         if not job.request.reservation_rank:
-            return super()._refuse(now, job, wait)
-        self._drop(job.request.id)
+            return super()._reject(now, job, wait)
+        self._forget(job.request.id)
         return [Reject(job.request.id, max(wait, 1.0), CEILING)]
 
     def _give_up(self, now: float, job: engine.PendingRequest) -> list[Action]:
@@ -162,25 +170,27 @@
         return actions
 
     def _choose(self, now: float, job: engine.PendingRequest, allowed: ServerFilter) -> Server | None:
-        rank, fleet = job.request.reservation_rank, self._fleet
+        rank, fleet = job.request.reservation_rank, self._balancer
         if not rank:
             kept = not job.attempts and self._presses(now, job.request.customer)
-            if kept and self._lacks(now, job.ledger, job.request.units) > 0:
+            if kept and self._lacks(now, job.quota, job.request.units) > 0:
                 return None
             return super()._choose(now, job, allowed)
-        borne = fleet._part() + max(fleet._more, 0.0)
-        if not fleet.calm(now) and fleet._out >= max(borne * (1.0 + OVER / rank), 1.0):
+        borne = fleet._concurrency_share() + max(fleet._extra_concurrency, 0.0)
+        if not fleet.is_healthy(now) and fleet._in_flight >= max(borne * (1.0 + OVER / rank), 1.0):
             return None
-        choice = fleet.pick(now, allowed, job.attempts)
-        if choice is None or (choice[1] >= job.deadline - now and not fleet.trial(now, choice[0].id)):
+        choice = fleet.choose(now, allowed, job.attempts)
+        if choice is None or (
+            choice[1] >= job.deadline_at - now and not fleet.is_trial_due(now, choice[0].id)
+        ):
             return None
         return choice[0]
 
-    def _outcome(self, now: float, event: AttemptOutcome) -> list[Action]:
+    def _attempt_ended(self, now: float, event: AttemptOutcome) -> list[Action]:
         if self._aside is None or not self._reserved(event.id):
-            return super()._outcome(now, event)
-        self._retries += not event.ended  # a further attempt takes nothing of what all others may make
+            return super()._attempt_ended(now, event)
+        self._retry_budget += not event.ended  # a further attempt takes nothing of what all others may make
         self._verdict = event.verdict
-        actions = super()._outcome(now, event)
+        actions = super()._attempt_ended(now, event)
         self._verdict = None
         return actions
--- a/badgeryoke/decisions/quota_protocols.py
+++ b/badgeryoke/decisions/quota_protocols.py
@@ -1,7 +1,7 @@
-"""What a customer's books look like to those who keep figures in them beside the module.
+"""What a customer's quota looks like to modules that the policy calls.
 
-Types alone, and no decision: the module's own `Meter` and `Ledger` have this form, so that `plans.replan` and
-`watch.sight`, which the module calls, need nothing of it.
+Types alone, and no decision: `GcraBucket` and `CustomerQuota` of `policy.quota` have this form, so that
+`plan_schedule.plan_change` and `counter_health.visibility`, which the policy calls, import nothing of it.
 """
 
 from __future__ import annotations
@@ -12,47 +12,47 @@
 
 
 class GcraBucket(Protocol):
-    """A store that fills at a rate, as a theoretical arrival time, ms; see `decide.Meter`."""
+    """A generic cell rate algorithm with a theoretical arrival time, ms; see `policy.quota.GcraBucket`."""
 
     tat: float
-    per_unit: float
+    interval_ms: float
     tolerance: float
-    half: Self | None
+    partial_share: Self | None
 
-    def set(self, rate: float, burst: float) -> None:
-        """Go by these figures."""
+    def configure(self, rate: float, burst: float) -> None:
+        """Set the rate, in units per second, and the burst, in units."""
 
-    def room(self, now: float) -> float:
+    def capacity(self, now: float) -> float:
         """Units left of the burst."""
 
 
-M = TypeVar("M", bound=GcraBucket)
+BucketT = TypeVar("BucketT", bound=GcraBucket)
 
 
-class CustomerQuota(Protocol[M]):
-    """What a gateway knows of one customer's use; see `decide.Ledger`."""
+class CustomerQuota(Protocol[BucketT]):
+    """What a gateway knows of one customer's usage; see `policy.quota.CustomerQuota`."""
 
     plan: Plan
     customer: int
-    first: int
-    spread: int
-    quota: M
-    own: M
-    head: M | None
+    first_gateway: int
+    gateway_set_size: int
+    bucket: BucketT
+    own_bucket: BucketT
+    headroom_bucket: BucketT | None
     period_ms: float
-    phase: float
+    period_phase: float
     period: int
-    base: float
-    last_base: float
-    sum: float
-    maybe: float
-    unclosed: bool
-    version: int
-    told: bool
-    seen: float
-
-    def headroom(self, settings: Settings) -> tuple[float, float]:
-        """Rate and depth of this gateway's part of the ceiling's headroom."""
-
-    def length(self) -> float:
-        """Of a period, ms."""
+    last_total: float
+    previous_total: float
+    reported_units: float
+    uncertain_units: float
+    previous_period_open: bool
+    visibility_version: int
+    synchronized: bool
+    synchronized_at: float
+
+    def headroom_share(self, settings: Settings) -> tuple[float, float]:
+        """Rate and burst of this gateway's share of the ceiling's headroom."""
+
+    def compute_period_ms(self) -> float:
+        """The length of a period."""
--- a/badgeryoke/decisions/state_snapshot.py
+++ b/badgeryoke/decisions/state_snapshot.py
@@ -1,7 +1,8 @@
-"""What one process of a gateway hands to the next: both are one gateway to quotas, ceilings and cold servers.
+"""The decision state that one process of a gateway hands to the next in a hot restart.
 
-No I/O.  Times are Unix milliseconds, which both read from the same clock; servers go by discovery's names,
-since each process numbers them for itself.
+Quotas, ceilings and servers in slow start then see both processes as one gateway.  No I/O.  Times are Unix
+milliseconds, which both processes read from the same clock; servers go by discovery's names, since each
+process numbers them for itself.
 """
 
 from __future__ import annotations
@@ -13,197 +14,342 @@
 import msgspec
 
 from badgeryoke.decisions.interface import Action, Request
-from badgeryoke.decisions.policy.engine import FLUSH_SHARE, CustomerQuota, DecisionEngine, ServerState
+from badgeryoke.decisions.policy.engine import DecisionEngine
+from badgeryoke.decisions.policy.load_balancing import LoadBalancer, ServerState
+from badgeryoke.decisions.policy.quota import REPORT_DELAY_FRACTION, CustomerQuota, QuotaManager
 
 VERSION = 2
-MOST_LEDGERS = 20_000  # the last used; the others begin as after a crash
-MOST_BYTES = 8 * 1024 * 1024
-# Attributes that are handed over as they are.
-LEDGER = (
-    "period",
-    "base",
-    "last_base",
-    "epoch",
-    "last_epoch",
-    "sum",
-    "unclosed",
-    "mine",
-    "others",
-    "seen",
-    "told",
-    "stranger",
-    "conform",
-    "used",
-)
-PEER = (
-    "rank",
-    "base",
-    "latency",
-    "timed",
-    "guessed",
-    "sent",
-    "newest",
-    "failing",
-    "failed",
-    "answered",
-    "answers",
-    "turn",
-    "turn_at",
-)
-QUOTA = ("_chance", "_worth", "_started", "_quickest")
-FLEET = ("_mean", "_sent", "_sent_at", "_began", "_latency", "_unmet", "_more")
-Figure = int | float | bool | None
+MAX_CUSTOMERS = 20_000  # the last used; the others begin as after a crash
+MAX_BYTES = 8 * 1024 * 1024
+
+# The structs are encoded as arrays: the order of their fields is the format.
+
+
+class QuotaFields(msgspec.Struct, array_like=True, frozen=True, forbid_unknown_fields=True):
+    """Fields of a `CustomerQuota` that are handed over as they are."""
+
+    period: int
+    last_total: float
+    previous_total: float
+    epoch: int
+    previous_epoch: int
+    reported_units: float
+    previous_period_open: bool
+    own_rate: float
+    others_rate: float
+    synchronized_at: float
+    synchronized: bool
+    was_unsynchronized: bool
+    conformance: float
+    last_used_at: float
+
+
+class ServerFields(msgspec.Struct, array_like=True, frozen=True, forbid_unknown_fields=True):
+    """Fields of a `ServerState` that are handed over as they are."""
+
+    aperture_rank: float
+    base_latency: float
+    latency: float
+    measured_at: float
+    latency_is_estimate: bool
+    last_sent_at: float
+    newest_answered_at: float
+    failure_rate: float
+    failed_at: float
+    answered_at: float
+    answer_count: int
+    slow_start_credit: float
+    credit_updated_at: float
+
+
+class QuotaManagerFields(msgspec.Struct, array_like=True, frozen=True, forbid_unknown_fields=True):
+    """Fields of the `QuotaManager` that are handed over as they are."""
+
+    call_probability: float
+    mean_call_value: float
+    started_at: float
+    fastest_reply_ms: float
+
+
+class LoadBalancerFields(msgspec.Struct, array_like=True, frozen=True, forbid_unknown_fields=True):
+    """Fields of the `LoadBalancer` that are handed over as they are."""
+
+    mean_latency_ms: float
+    recent_sends: float
+    last_sent_at: float
+    first_sent_at: float
+    relative_latency: float
+    connect_failure_rate: float
+    extra_concurrency: float
 
 
 class CustomerSnapshot(msgspec.Struct, array_like=True, frozen=True):
-    """One customer's use."""
+    """One customer's quota."""
 
     customer: int
     plan: str
-    spread: int
-    first: int
+    gateway_set_size: int
+    first_gateway: int
     period_ms: float
-    tats: tuple[float, float, float | None]  # of the quota, the own part and the ceiling's headroom
-    owed: float  # to the counter; the new process reports it
-    settled: float
-    maybe: float  # may be in the next total, from calls of the old process
-    figures: list[Figure]  # in the order of LEDGER
+    tats: tuple[float, float, float | None]  # of the buckets: quota, own share, ceiling's headroom
+    unreported_units: float  # the new process reports them
+    correction_units: float
+    uncertain_units: float  # may be in the next total, from calls of the old process
+    fields: QuotaFields
 
 
 class ServerSnapshot(msgspec.Struct, array_like=True, frozen=True):
     """One server."""
 
     host: str
-    figures: list[Figure]  # in the order of PEER
+    fields: ServerFields
 
 
 class StateSnapshot(msgspec.Struct, array_like=True, frozen=True):
-    """All of it."""
+    """The state of a gateway's decisions."""
 
-    ledgers: list[CustomerSnapshot]
-    peers: list[ServerSnapshot]
-    quota: list[float]
-    conform: dict[str, float]
-    fleet: list[float]
-    retries: float
+    customers: list[CustomerSnapshot]
+    servers: list[ServerSnapshot]
+    quota_manager: QuotaManagerFields
+    conformance: dict[str, float]  # by plan
+    balancer: LoadBalancerFields
+    retry_budget: float
 
 
-def _ledger(led: CustomerQuota) -> CustomerSnapshot:
-    told = sum(led.asked.values()) - sum(led.pending.values()) - led.guessed if led.asked else 0.0
+def _take_customer(quota: CustomerQuota) -> CustomerSnapshot:
+    in_calls = 0.0  # units of this gateway that the old process's calls may still add to the total
+    if quota.calls_in_flight:
+        in_calls = sum(quota.calls_in_flight.values()) - sum(quota.requests_in_call.values())
+        in_calls -= quota.estimated_units
+    headroom = quota.headroom_bucket
     return CustomerSnapshot(
-        led.customer,
-        led.plan.name,
-        led.spread,
-        led.first,
-        led.period_ms,
-        (led.quota.tat, led.own.tat, led.head.tat if led.head else None),
-        max(led.owed, 0.0),
-        led.settled,
-        led.maybe + max(told, 0.0),
-        [getattr(led, name) for name in LEDGER],
+        customer=quota.customer,
+        plan=quota.plan.name,
+        gateway_set_size=quota.gateway_set_size,
+        first_gateway=quota.first_gateway,
+        period_ms=quota.period_ms,
+        tats=(quota.bucket.tat, quota.own_bucket.tat, headroom.tat if headroom else None),
+        unreported_units=max(quota.unreported_units, 0.0),
+        correction_units=quota.correction_units,
+        uncertain_units=quota.uncertain_units + max(in_calls, 0.0),
+        fields=QuotaFields(
+            period=quota.period,
+            last_total=quota.last_total,
+            previous_total=quota.previous_total,
+            epoch=quota.epoch,
+            previous_epoch=quota.previous_epoch,
+            reported_units=quota.reported_units,
+            previous_period_open=quota.previous_period_open,
+            own_rate=quota.own_rate,
+            others_rate=quota.others_rate,
+            synchronized_at=quota.synchronized_at,
+            synchronized=quota.synchronized,
+            was_unsynchronized=quota.was_unsynchronized,
+            conformance=quota.conformance,
+            last_used_at=quota.last_used_at,
+        ),
     )
 
 
-def take_snapshot(gateway: DecisionEngine, names: Mapping[int, str]) -> StateSnapshot:
-    """The state of a gateway whose servers have these names; it goes on unchanged."""
-    quota, fleet = gateway._quota, gateway._fleet
-    ledgers = sorted(quota._ledgers.values(), key=lambda led: led.used)[-MOST_LEDGERS:]
+def _restore_customer(quota: CustomerQuota, state: CustomerSnapshot) -> None:
+    quota.bucket.tat, quota.own_bucket.tat, headroom_tat = state.tats
+    if quota.headroom_bucket:
+        quota.headroom_bucket.tat = math.inf if headroom_tat is None else headroom_tat
+    quota.unreported_units = state.unreported_units
+    quota.correction_units = state.correction_units
+    quota.uncertain_units = state.uncertain_units
+    fields = state.fields
+    quota.period = fields.period
+    quota.last_total = fields.last_total
+    quota.previous_total = fields.previous_total
+    quota.epoch = fields.epoch
+    quota.previous_epoch = fields.previous_epoch
+    quota.reported_units = fields.reported_units
+    quota.previous_period_open = fields.previous_period_open
+    quota.own_rate = fields.own_rate
+    quota.others_rate = fields.others_rate
+    quota.synchronized_at = fields.synchronized_at
+    quota.synchronized = fields.synchronized
+    quota.was_unsynchronized = fields.was_unsynchronized
+    quota.conformance = fields.conformance
+    quota.last_used_at = fields.last_used_at
+
+
+def _take_server(server: ServerState) -> ServerFields:
+    return ServerFields(
+        aperture_rank=server.aperture_rank,
+        base_latency=server.base_latency,
+        latency=server.latency,
+        measured_at=server.measured_at,
+        latency_is_estimate=server.latency_is_estimate,
+        last_sent_at=server.last_sent_at,
+        newest_answered_at=server.newest_answered_at,
+        failure_rate=server.failure_rate.value,
+        failed_at=server.failure_rate.updated_at,
+        answered_at=server.answered_at,
+        answer_count=server.answer_count,
+        slow_start_credit=server.slow_start_credit,
+        credit_updated_at=server.credit_updated_at,
+    )
+
+
+def _restore_server(server: ServerState, fields: ServerFields) -> None:
+    server.aperture_rank = fields.aperture_rank
+    server.base_latency = fields.base_latency
+    server.latency = fields.latency
+    server.measured_at = fields.measured_at
+    server.latency_is_estimate = fields.latency_is_estimate
+    server.last_sent_at = fields.last_sent_at
+    server.newest_answered_at = fields.newest_answered_at
+    server.failure_rate.value = fields.failure_rate
+    server.failure_rate.updated_at = fields.failed_at
+    server.answered_at = fields.answered_at
+    server.answer_count = fields.answer_count
+    server.slow_start_credit = fields.slow_start_credit
+    server.credit_updated_at = fields.credit_updated_at
+
+
+def _take_quota_manager(manager: QuotaManager) -> QuotaManagerFields:
+    return QuotaManagerFields(
+        call_probability=manager._call_probability,
+        mean_call_value=manager._mean_call_value,
+        started_at=manager._started_at,
+        fastest_reply_ms=manager._fastest_reply_ms,
+    )
+
+
+def _restore_quota_manager(manager: QuotaManager, fields: QuotaManagerFields) -> None:
+    manager._call_probability = fields.call_probability
+    manager._mean_call_value = fields.mean_call_value
+    manager._started_at = fields.started_at
+    manager._fastest_reply_ms = fields.fastest_reply_ms
+
+
+def _take_balancer(balancer: LoadBalancer) -> LoadBalancerFields:
+    return LoadBalancerFields(
+        mean_latency_ms=balancer._mean_latency_ms,
+        recent_sends=balancer._sends.value,
+        last_sent_at=balancer._sends.updated_at,
+        first_sent_at=balancer._sends.first_at,
+        relative_latency=balancer._relative_latency,
+        connect_failure_rate=balancer._connect_failure_rate,
+        extra_concurrency=balancer._extra_concurrency,
+    )
+
+
+def _restore_balancer(balancer: LoadBalancer, fields: LoadBalancerFields) -> None:
+    balancer._mean_latency_ms = fields.mean_latency_ms
+    balancer._sends.value = fields.recent_sends
+    balancer._sends.updated_at = fields.last_sent_at
+    balancer._sends.first_at = fields.first_sent_at
+    balancer._relative_latency = fields.relative_latency
+    balancer._connect_failure_rate = fields.connect_failure_rate
+    balancer._extra_concurrency = fields.extra_concurrency
+
+
+def take_snapshot(engine: DecisionEngine, host_names: Mapping[int, str]) -> StateSnapshot:
+    """The state of an engine whose servers have these names; it goes on unchanged."""
+    manager, balancer = engine._quota, engine._balancer
+    quotas = sorted(manager._quotas.values(), key=lambda quota: quota.last_used_at)[-MAX_CUSTOMERS:]
     return StateSnapshot(
-        [_ledger(led) for led in ledgers],
-        [
-            ServerSnapshot(names[number], [getattr(peer, name) for name in PEER])
-            for number, peer in fleet._peers.items()
-            if number in names
+        customers=[_take_customer(quota) for quota in quotas],
+        servers=[
+            ServerSnapshot(host_names[number], _take_server(server))
+            for number, server in balancer._servers.items()
+            if number in host_names
         ],
-        [getattr(quota, name) for name in QUOTA],
-        dict(quota._conform),
-        [getattr(fleet, name) for name in FLEET],
-        gateway._retries,
+        quota_manager=_take_quota_manager(manager),
+        conformance=dict(manager._conformance),
+        balancer=_take_balancer(balancer),
+        retry_budget=engine._retry_budget,
     )
 
 
-def mark_transferred(gateway: DecisionEngine, handed: StateSnapshot) -> None:
-    """The new process serves by it: what was owed is the new one's to report, and so is what may be sent
-    under a ceiling without the counter's word."""
-    for state in handed.ledgers:
-        led = gateway._quota._ledgers.get(state.customer)
-        if led is not None:
-            led.owed -= state.owed
-            led.settled -= state.settled
-            if led.head:
-                led.head.tat = math.inf
+def mark_transferred(engine: DecisionEngine, snapshot: StateSnapshot) -> None:
+    """The new process serves by the snapshot: it reports the unreported units, and it alone may send under
+    a ceiling without confirmation by the counter."""
+    for state in snapshot.customers:
+        quota = engine._quota._quotas.get(state.customer)
+        if quota is not None:
+            quota.unreported_units -= state.unreported_units
+            quota.correction_units -= state.correction_units
+            if quota.headroom_bucket:
+                quota.headroom_bucket.tat = math.inf
 
 
 def restore_snapshot(
-    gateway: DecisionEngine, now: float, handed: StateSnapshot, numbers: Mapping[str, int]
+    engine: DecisionEngine, now: float, snapshot: StateSnapshot, server_numbers: Mapping[str, int]
 ) -> list[Action]:
-    """Go on from what the old process handed over.  What does not fit these settings is left out."""
-    quota, fleet, settings = gateway._quota, gateway._fleet, gateway._settings
+    """Go on from the old process's state.  What does not fit these settings is left out."""
+    manager, balancer = engine._quota, engine._balancer
+    _restore_quota_manager(manager, snapshot.quota_manager)
+    shares = {plan: share for plan, share in snapshot.conformance.items() if plan in manager._plans}
+    manager._conformance.update(shares)
+    _restore_balancer(balancer, snapshot.balancer)
+    engine._retry_budget = min(snapshot.retry_budget, engine._max_retry_budget)
+    for state in snapshot.servers:
+        server = balancer._servers.get(server_numbers.get(state.host, -1))
+        if server is not None:
+            _restore_server(server, state.fields)
+    balancer._available.sort(key=lambda server: server.aperture_rank)
     actions: list[Action] = []
-    _set(quota, QUOTA, list(handed.quota))
-    quota._conform.update({name: share for name, share in handed.conform.items() if name in quota._plans})
-    _set(fleet, FLEET, list(handed.fleet))
-    gateway._retries = min(handed.retries, gateway._saved)
-    for server in handed.peers:
-        peer: ServerState | None = fleet._peers.get(numbers.get(server.host, -1))
-        if peer is not None:
-            _set(peer, PEER, server.figures)
-    fleet._up.sort(key=lambda p: p.rank)
-    for state in handed.ledgers:
-        plan = quota._plans.get(state.plan)
-        if plan is None or state.customer in quota._ledgers:
-            continue
-        request = Request("", "", state.plan, state.customer, 0.0, 0.0, state.spread, state.first)
-        led = CustomerQuota(plan, request, settings, now, quota._started)
-        if led.period_ms != state.period_ms:
-            continue  # other figures than the old process had
-        led.quota.tat, led.own.tat, head = state.tats
-        if led.head:
-            led.head.tat = math.inf if head is None else head
-        led.owed, led.settled, led.maybe = state.owed, state.settled, state.maybe
-        _set(led, LEDGER, state.figures)
-        quota._ledgers[state.customer] = led
-        if led.owed or led.settled:  # spread by chance, so that the counter does not get them all at once
-            led.flushing = True
-            wait = FLUSH_SHARE * led.period_ms * gateway._rng.random()
-            actions.append(gateway._wake(now + wait, led))
+    for customer in snapshot.customers:
+        actions += _add_customer(engine, now, customer)
     return actions
 
 
-def _set(there: object, names: tuple[str, ...], values: list[Figure] | list[float]) -> None:
-    for name, value in zip(names, values, strict=True):
-        setattr(there, name, value)
+def _add_customer(engine: DecisionEngine, now: float, state: CustomerSnapshot) -> list[Action]:
+    """Restore one customer's quota; gives the timer of its report, if one is due."""
+    manager = engine._quota
+    plan = manager._plans.get(state.plan)
+    if plan is None or state.customer in manager._quotas:
+        return []
+    request = Request(
+        id="",
+        request_class="",
+        plan=state.plan,
+        customer=state.customer,
+        remaining_ms=0.0,
+        units=0.0,
+        gateway_set_size=state.gateway_set_size,
+        first_gateway=state.first_gateway,
+    )
+    quota = CustomerQuota(plan, request, engine._settings, now, manager._started_at)
+    if quota.period_ms != state.period_ms:
+        return []  # the plan has other figures than in the old process
+    _restore_customer(quota, state)
+    manager._quotas[state.customer] = quota
+    if not quota.unreported_units and not quota.correction_units:
+        return []
+    quota.report_scheduled = True
+    # At a random time, so that the counter does not get all reports at once.
+    delay_ms = REPORT_DELAY_FRACTION * quota.period_ms * engine._rng.random()
+    return [engine._set_timer(now + delay_ms, quota)]
 
 
-def encode(handed: StateSnapshot) -> bytes:
-    """With a head of version, checksum and length."""
-    body = msgspec.msgpack.encode(handed)
+def encode(snapshot: StateSnapshot) -> bytes:
+    """The snapshot, after a line with the version, the checksum and the length."""
+    body = msgspec.msgpack.encode(snapshot)
     return b"STATE %d %d %d\n%b" % (VERSION, zlib.crc32(body), len(body), body)
 
 
 def read_head(line: bytes) -> tuple[int, int]:
-    """Checksum and length; raises ValueError."""
+    """Checksum and length from the line before a snapshot; raises ValueError."""
     words = line.split()
     if len(words) != 4 or words[0] != b"STATE" or not all(word.isdigit() for word in words[1:]):
         raise ValueError(f"not a state: {line[:40]!r}")
     if int(words[1]) != VERSION:
         raise ValueError(f"version {int(words[1])}, this process knows {VERSION}")
-    if int(words[3]) > MOST_BYTES:
+    if int(words[3]) > MAX_BYTES:
         raise ValueError(f"{int(words[3])} bytes are too many")
     return int(words[2]), int(words[3])
 
 
 def decode(body: bytes, checksum: int) -> StateSnapshot:
-    """The state; raises ValueError."""
+    """The snapshot; raises ValueError."""
     if zlib.crc32(body) != checksum:
         raise ValueError("checksum differs")
     try:
-        handed = msgspec.msgpack.decode(body, type=StateSnapshot)
-    except msgspec.DecodeError as fault:
-        raise ValueError(str(fault)) from None
-    sizes = {(len(LEDGER), len(one.figures)) for one in handed.ledgers}
-    sizes |= {(len(PEER), len(one.figures)) for one in handed.peers}
-    sizes |= {(len(QUOTA), len(handed.quota)), (len(FLEET), len(handed.fleet))}
-    if any(wanted != there for wanted, there in sizes):
-        raise ValueError("fields are missing")
-    return handed
+        return msgspec.msgpack.decode(body, type=StateSnapshot)
+    except msgspec.DecodeError as error:
+        raise ValueError(str(error)) from None
--- a/badgeryoke/gateway/application.py
+++ b/badgeryoke/gateway/application.py
@@ -234,7 +234,7 @@
             self._front.share(OVERLAP_PART)
             if self._pools is not None:
                 self._pools.alone = False  # the process before answers what it has taken
-            log.info("state taken over: %d customers, %d servers", len(handed.ledgers), len(handed.peers))
+            log.info("state taken over: %d customers, %d servers", len(handed.customers), len(handed.servers))
         if self._drain.ending:
             return
         self._listen()
--- a/badgeryoke/gateway/dispatcher.py
+++ b/badgeryoke/gateway/dispatcher.py
@@ -91,7 +91,7 @@
     def avoided(self, now: float) -> int:
         """How many of the listed servers get nothing now."""
 
-    def retune(self, settings: api.Settings) -> None:
+    def update_settings(self, settings: api.Settings) -> None:
         """Go by new settings; what is open keeps what it began with."""
 
 
@@ -207,7 +207,7 @@
         self.post(self._retune, settings)
 
     def _retune(self, settings: api.Settings) -> None:
-        self._module.retune(settings)
+        self._module.update_settings(settings)
         self._go_by(settings)
         self.figures.add_classes(self._classes)
 
--- a/tests/decisions/counter_health/test_detector.py
+++ b/tests/decisions/counter_health/test_detector.py
@@ -20,7 +20,9 @@
 from badgeryoke.decisions.counter_health.error_bound import beyond_units, noticed_ms, stated
 from badgeryoke.decisions.counter_health.monitored_policy import MonitoredEngine
 from badgeryoke.decisions.counter_health.visibility import Visibility
-from badgeryoke.decisions.policy.engine import CustomerQuota, DecisionEngine, GcraBucket, name_of
+from badgeryoke.decisions.counter_name import counter_name
+from badgeryoke.decisions.policy.engine import DecisionEngine
+from badgeryoke.decisions.policy.quota import CustomerQuota, GcraBucket
 from tests.support.samples import CAPPED, PLAIN, SETTINGS, admit, request, server
 
 T0 = 48_000_000.0  # an era begins here
@@ -262,11 +264,11 @@
 
 def test_a_part_is_a_meter_behind_the_quotas() -> None:
     quota = GcraBucket(10.0, 30.0, 0.0)
-    quota.half = GcraBucket(10.0 / 3, 10.0, 0.0)
-    assert quota.room(0.0) == pytest.approx(10.0)
-    quota.take(10.0, 0.0)
+    quota.partial_share = GcraBucket(10.0 / 3, 10.0, 0.0)
+    assert quota.capacity(0.0) == pytest.approx(10.0)
+    quota.consume(10.0, 0.0)
     assert quota.wait(0.0, 1.0) == pytest.approx(300.0)
-    assert quota.tat == pytest.approx(1000.0) and quota.half.tat == pytest.approx(3000.0)
+    assert quota.tat == pytest.approx(1000.0) and quota.partial_share.tat == pytest.approx(3000.0)
 
 
 def guarded(me: int = 0, gateways: int = 2) -> MonitoredEngine:
@@ -286,36 +288,36 @@
 
 def test_a_new_gateway_grants_no_burst_while_nobody_is_in_sight() -> None:
     made = guarded()
-    led = made.quota.ledger(T0 + 1, request("r", plan="plain"))
-    assert led.quota.wait(T0 + 1, 1.0) > 0
+    led = made.quota.quota_for(T0 + 1, request("r", plan="plain"))
+    assert led.bucket.wait(T0 + 1, 1.0) > 0
     plain = DecisionEngine(SETTINGS, 1)
     plain.handle(T0, api.EndpointList(api.ListScope.CACHED, ()))
-    assert plain._quota.ledger(T0 + 1, request("r", plan="plain")).quota.wait(T0 + 1, 1.0) <= 0
+    assert plain._quota.quota_for(T0 + 1, request("r", plan="plain")).bucket.wait(T0 + 1, 1.0) <= 0
 
 
 def test_after_a_swap_the_own_units_of_the_period_are_told_once_under_the_new_name() -> None:
     made = DecisionEngine(SETTINGS, 1)
     made.handle(T0, api.EndpointList(api.ListScope.CACHED, tuple(map(server, range(1, 9)))))
-    sight = made._quota.sight = Visibility(0, 2)
+    sight = made._quota.visibility = Visibility(0, 2)
     totals: dict[int, float] = {}
     for number in range(2):
-        made._quota._chance = 8.0  # a call for each
+        made._quota._call_probability = 8.0  # a call for each
         admit(made, T0 + 10 * number, request(f"r{number}", plan="capped"), totals)
-    led = made._quota.ledger(T0 + 31, request("x", plan="capped"))
-    name = name_of(7, led.period)
-    assert totals[name] == led.sum == 2.0
+    led = made._quota.quota_for(T0 + 31, request("x", plan="capped"))
+    name = counter_name(7, led.period)
+    assert totals[name] == led.reported_units == 2.0
     totals[name] += 0.5  # another gateway's
     admit(made, T0 + 30, request("r3", plan="capped"), totals)
-    room = led.quota.room(T0 + 40)
+    room = led.bucket.capacity(T0 + 40)
     sight.renew(71)
     admit(made, T0 + 40, request("r4", plan="capped"), totals)
-    fresh = name_of(7, led.period, 71)
-    assert totals[fresh] == pytest.approx(4.0) and led.quota.room(T0 + 40) == pytest.approx(room - 1.0)
+    fresh = counter_name(7, led.period, 71)
+    assert totals[fresh] == pytest.approx(4.0) and led.bucket.capacity(T0 + 40) == pytest.approx(room - 1.0)
     totals[fresh] += 0.5  # the other tells its own again, which was counted before
-    room, made._quota._worth = led.quota.room(T0 + 42), 0.0
-    made._quota._chance = 8.0
+    room, made._quota._mean_call_value = led.bucket.capacity(T0 + 42), 0.0
+    made._quota._call_probability = 8.0
     admit(made, T0 + 42, request("r5", plan="capped", units=0.25), totals)
-    assert totals[fresh] == pytest.approx(4.75) and led.quota.room(T0 + 42) == pytest.approx(room - 0.25)
+    assert totals[fresh] == pytest.approx(4.75) and led.bucket.capacity(T0 + 42) == pytest.approx(room - 0.25)
 
 
 def test_the_stated_error_follows_its_formula() -> None:
@@ -331,5 +333,5 @@
     guard = CeilingGuard(lambda now, first, spread: now)
     plan = api.Plan("distributor", rate=1.0, burst=4.0, ceiling_rate=100.0, ceiling_burst=4.0)
     led = CustomerQuota(plan, request("r", plan="distributor"), SETTINGS, 0.0, 0.0)
-    led.quota.tat = led.quota.tolerance + 3000.0  # the store is empty, and three units below nothing
-    assert guard.wait(0.0, led, 1.0) >= led.quota.wait(0.0, 1.0) > 3000.0
+    led.bucket.tat = led.bucket.tolerance + 3000.0  # the store is empty, and three units below nothing
+    assert guard.wait(0.0, led, 1.0) >= led.bucket.wait(0.0, 1.0) > 3000.0
--- a/tests/decisions/test_cost_by_fleet_size.py
+++ b/tests/decisions/test_cost_by_fleet_size.py
@@ -57,7 +57,7 @@
                 elif isinstance(action, api.SendAttempt):
                     todo.append(outcome(action, api.Verdict.OK, rtt=20.0))
     module = made.module if watch else made
-    held = len(module._quota._ledgers) + len(module._jobs) + len(module._quota._calls)
+    held = len(module._quota._quotas) + len(module._pending) + len(module._quota._calls)
     kept = max((len(sent) for sent in made._guard._sent.values()), default=0) if watch else 0
     return {"lines": lines / REQUESTS, "calls": calls / REQUESTS, "held": held, "kept": kept}
 
--- a/tests/decisions/test_large_fleet.py
+++ b/tests/decisions/test_large_fleet.py
@@ -123,7 +123,7 @@
 def test_the_brake_acts_sooner_where_servers_are_chosen_by_chance() -> None:
     """L725790: a mean latency that a fleet with known queues bears hides jammed ones where none is known."""
     for gap, calm in ((100.0, True), (4000.0, False)):
-        assert slowed(one_of_many(), 350.0, 60, gap)._fleet.calm(START + 60 * gap) is calm
+        assert slowed(one_of_many(), 350.0, 60, gap)._balancer.is_healthy(START + 60 * gap) is calm
 
 
 def test_a_gateway_shut_by_slow_answers_tries_again() -> None:
--- a/tests/decisions/test_priority_admission.py
+++ b/tests/decisions/test_priority_admission.py
@@ -15,7 +15,7 @@
 from badgeryoke.decisions import interface as api
 from badgeryoke.decisions import priority_admission
 from badgeryoke.decisions.counter_health.monitored_policy import MonitoredEngine
-from badgeryoke.decisions.policy import engine
+from badgeryoke.decisions.policy import engine, load_balancing
 from badgeryoke.gateway.actor import ActorScheduler
 from badgeryoke.gateway.attempt import Request
 from badgeryoke.gateway.cluster.service import ClusterService
@@ -61,7 +61,7 @@
 def full(made: priority_admission.PriorityDecisionEngine, slow: bool) -> int:
     """Fill all places with reserved requests; gives how many went."""
     if slow:
-        made._fleet._latency = 1.0
+        made._balancer._relative_latency = 1.0
     sent = 0
     while (
         only(made.handle(START + 5.0, drawn(f"f{sent}", spread=1, customer=50 + sent)), api.SendAttempt)
@@ -86,11 +86,15 @@
 def test_of_what_is_reserved_the_lower_class_goes_first_and_where_nothing_bears_it_all_goes() -> None:
     made = module(1, has_counter=False, gateway_count=1)
     sent = full(made, slow=True)
-    assert sent == int(engine.LIMIT_START * (1 + priority_admission.OVER)) + 4  # and the spare
+    assert (
+        sent == int(load_balancing.INITIAL_SERVER_CONCURRENCY * (1 + priority_admission.OVER)) + 4
+    )  # and the spare
     [refused] = only(made.handle(START + 6.0, drawn("r", spread=1)), api.Reject)
     assert refused.cause == priority_admission.LOAD
     for out, goes in ((2.6, True), (1.4, True), (3.9, False)):
-        made._fleet._out = int(out * (engine.LIMIT_START + engine.LIMIT_SPARE))
+        made._balancer._in_flight = int(
+            out * (load_balancing.INITIAL_SERVER_CONCURRENCY + load_balancing.SPARE_CONCURRENCY)
+        )
         second = made.handle(START + 7.0, drawn(f"s{out}", rank=2, spread=1))
         first = made.handle(START + 7.0, drawn(f"t{out}", rank=1, spread=1))
         assert only(first, api.SendAttempt) and bool(only(second, api.SendAttempt)) is (goes and out < 2.5)
@@ -98,12 +102,12 @@
 
 def test_a_reserved_request_is_tried_elsewhere_without_the_budget_of_all_others() -> None:
     made = module(has_counter=False, gateway_count=1)
-    made._retries = 0.0
+    made._retry_budget = 0.0
     [first] = only(made.handle(START, drawn("r", spread=1)), api.SendAttempt)
     [second] = only(made.handle(START + 1.0, samples.outcome(first, api.Verdict.QUEUE_FULL)), api.SendAttempt)
-    assert second.server != first.server and made._retries < 1
+    assert second.server != first.server and made._retry_budget < 1
     [plain] = only(made.handle(START, samples.request("o", spread=1)), api.SendAttempt)
-    made._retries = 0.0
+    made._retry_budget = 0.0
     assert only(made.handle(START + 1.0, samples.outcome(plain, api.Verdict.QUEUE_FULL)), api.Reject)
 
 
@@ -347,7 +351,7 @@
     assert len(bench.answers) == 1 and bench.core.unanswered == 0
     assert (
         isinstance(bench.core._module, priority_admission.PriorityDecisionEngine)
-        and not bench.core._module._jobs
+        and not bench.core._module._pending
     )
     bench.stakes.broken = True
     bench.ask()
--- a/tests/decisions/test_quota.py
+++ b/tests/decisions/test_quota.py
@@ -10,7 +10,9 @@
 import pytest
 
 from badgeryoke.decisions import interface as api
-from badgeryoke.decisions.policy.engine import MASK, DecisionEngine, GcraBucket, name_of
+from badgeryoke.decisions.counter_name import MAX_COUNTER_NAME, counter_name
+from badgeryoke.decisions.policy.engine import DecisionEngine
+from badgeryoke.decisions.policy.quota import GcraBucket
 from tests.support.samples import CAPPED, PLAIN, START, admit, answer, gateway, only, outcome, request
 
 
@@ -18,7 +20,7 @@
     meter = GcraBucket(1.0, 4.0, 0.0)
     for _ in range(4):
         assert meter.wait(0.0, 1.0) <= 0
-        meter.take(1.0, 0.0)
+        meter.consume(1.0, 0.0)
     assert meter.wait(0.0, 1.0) == pytest.approx(1000.0)
     assert meter.wait(999.0, 1.0) > 0
     assert meter.wait(1000.0, 1.0) <= 0
@@ -26,7 +28,7 @@
 
 def test_several_units_wait_until_the_burst_holds_them() -> None:
     meter = GcraBucket(2.0, 4.0, 0.0)
-    meter.take(2.0, 0.0)
+    meter.consume(2.0, 0.0)
     assert meter.wait(0.0, 2.0) <= 0
     assert meter.wait(0.0, 3.0) == pytest.approx(500.0)
 
@@ -34,14 +36,14 @@
 def test_a_request_larger_than_the_burst_goes_when_all_is_paid() -> None:
     meter = GcraBucket(1.0, 2.0, 0.0)
     assert meter.wait(0.0, 5.0) <= 0
-    meter.take(5.0, 0.0)
+    meter.consume(5.0, 0.0)
     assert meter.wait(0.0, 5.0) == pytest.approx(5000.0)
 
 
 def test_long_idle_saves_no_more_than_the_burst() -> None:
     meter = GcraBucket(1.0, 4.0, 0.0)
-    assert meter.room(1e9) == pytest.approx(4.0)
-    meter.take(1.0, 1e9)
+    assert meter.capacity(1e9) == pytest.approx(4.0)
+    meter.consume(1.0, 1e9)
     assert meter.tat == pytest.approx(1e9 + 1000.0)
 
 
@@ -67,8 +69,8 @@
 
 def names(customer: int, period_ms: float = 4000.0) -> tuple[int, int]:
     """The counter names of the period at START and of the one before."""
-    period = math.floor(START / period_ms + name_of(customer, -1) / MASK)
-    return name_of(customer, period), name_of(customer, period - 1)
+    period = math.floor(START / period_ms + counter_name(customer, -1) / MAX_COUNTER_NAME)
+    return counter_name(customer, period), counter_name(customer, period - 1)
 
 
 def test_one_call_is_enough_while_there_is_ample_room() -> None:
@@ -307,7 +309,7 @@
         made = gateway(gateway_count=1)
         totals: dict[int, float] = {}
         [send] = only(admit(made, START, request("a", units=2.0, spread=1), totals), api.SendAttempt)
-        monkeypatch.setattr(made._fleet, "calm", lambda now, calm=calm: calm)
+        monkeypatch.setattr(made._balancer, "is_healthy", lambda now, calm=calm: calm)
         settled(made, send, true)
         sent = [
             only(admit(made, START + 60, request(f"b{n}", spread=1), totals), api.SendAttempt)
@@ -325,13 +327,13 @@
     more = [request(f"b{n}", plan="capped") for n in range(20)]
     sent = [only(admit(made, START + 60, event, totals), api.SendAttempt) for event in more]
     assert 0 < sum(map(bool, sent)) <= 8
-    [led] = made._quota._ledgers.values()
-    assert led.head is not None and led.head.room(START + 60) == 0.0
+    [led] = made._quota._quotas.values()
+    assert led.headroom_bucket is not None and led.headroom_bucket.capacity(START + 60) == 0.0
 
 
 def lose(made: DecisionEngine, now: float, event: api.Request) -> tuple[api.AddToCounter, list[api.Action]]:
     """Bring a request whose call to the counter gets no answer in time."""
-    made._quota._chance = 1.0
+    made._quota._call_probability = 1.0
     [call] = only(made.handle(now, event), api.AddToCounter)
     return call, made.handle(now + 50.0, api.CounterReply(call.name, api.Verdict.TIMEOUT, 50.0))
 
@@ -342,13 +344,13 @@
     totals: dict[int, float] = {}
     admit(made, START, request("a", units=1.0), totals)
     lose(made, START + 60.0, request("b", units=2.0))
-    later = START + 1.2 * made._quota._ledgers[7].period_ms
-    made._quota._chance = 1.0
+    later = START + 1.2 * made._quota._quotas[7].period_ms
+    made._quota._call_probability = 1.0
     [call] = only(made.handle(later, request("c", units=1.0)), api.AddToCounter)
-    led = made._quota._ledgers[7]
-    used, seen = led.quota.tat, led.seen
+    led = made._quota._quotas[7]
+    used, seen = led.bucket.tat, led.synchronized_at
     made.handle(later, api.CounterReply(call.name, api.Verdict.OK, 2.0, call.units + 3.0))  # three by others
-    assert led.quota.tat >= max(used, seen) + 3.0 * led.quota.per_unit
+    assert led.bucket.tat >= max(used, seen) + 3.0 * led.bucket.interval_ms
 
 
 def test_the_closing_read_does_not_charge_own_units_that_timed_out_a_second_time() -> None:
@@ -356,12 +358,12 @@
     totals: dict[int, float] = {}
     admit(made, START, request("a", units=1.0), totals)
     lost, _ = lose(made, START + 60.0, request("b", units=2.0))
-    led = made._quota._ledgers[7]
+    led = made._quota._quotas[7]
     later = START + 1.2 * led.period_ms
-    made._quota._chance = 1.0
+    made._quota._call_probability = 1.0
     [call] = only(made.handle(later, request("c", units=1.0)), api.AddToCounter)
     made.handle(later, api.CounterReply(call.name, api.Verdict.OK, 2.0, call.units))
-    assert led.last_base == totals[lost.name] + lost.units
+    assert led.previous_total == totals[lost.name] + lost.units
 
 
 def test_what_was_sent_unheard_counts_when_the_counter_is_first_heard() -> None:
@@ -369,12 +371,14 @@
     made = gateway()
     _, actions = lose(made, START, request("a", units=2.0))
     assert only(actions, api.SendAttempt)
-    made._quota._chance = 1.0
+    made._quota._call_probability = 1.0
     [call] = only(made.handle(START + 60.0, request("b", units=1.0)), api.AddToCounter)
     made.handle(START + 60.0, api.CounterReply(call.name, api.Verdict.OK, 2.0, call.units + 2.0))
-    led = made._quota._ledgers[7]
-    start = (led.period - led.phase) * led.period_ms
-    assert led.quota.tat == pytest.approx(start + 2.0 * led.quota.per_unit, abs=100.0)  # some came back since
+    led = made._quota._quotas[7]
+    start = (led.period - led.period_phase) * led.period_ms
+    assert led.bucket.tat == pytest.approx(
+        start + 2.0 * led.bucket.interval_ms, abs=100.0
+    )  # some came back since
 
 
 @pytest.mark.parametrize("answered", [0.0, 0.3, 1.0])
@@ -434,10 +438,10 @@
     """One that never took less than 15 of 50 ms was hardly asked any more."""
     made = gateway()
     quota = made._quota
-    quota._chance = 0.5
+    quota._call_probability = 0.5
     for n in range(20):
-        led = quota.ledger(START, request(f"r{n}", customer=n))
-        led.owed = 1.0
-        [call] = only(quota.ask(START, led), api.AddToCounter)
-        quota.total(START, api.CounterReply(call.name, api.Verdict.OK, 15.0 if n < 5 else takes_ms, 1.0))
-    assert (quota._chance > 1.0) is grows and (quota._chance < 0.1) is not grows
+        led = quota.quota_for(START, request(f"r{n}", customer=n))
+        led.unreported_units = 1.0
+        [call] = only(quota.synchronize(START, led), api.AddToCounter)
+        quota.replied(START, api.CounterReply(call.name, api.Verdict.OK, 15.0 if n < 5 else takes_ms, 1.0))
+    assert (quota._call_probability > 1.0) is grows and (quota._call_probability < 0.1) is not grows
--- a/tests/decisions/test_random_settings.py
+++ b/tests/decisions/test_random_settings.py
@@ -111,7 +111,7 @@
             self.now, _, what = heapq.heappop(self.due)
             if what == "retune":
                 self.settings = drawn(self.draw)
-                self.made.retune(self.settings)
+                self.made.update_settings(self.settings)
             elif what == "list":
                 self.change()
             elif isinstance(what, str):
@@ -243,8 +243,8 @@
     play = Play(seed, True)
     play.run()
     assert play.repeats
-    for led in play.made._quota._ledgers.values():
-        assert all(math.isfinite(one.tat) for one in (led.quota, led.own, led.head) if one)
+    for led in play.made._quota._quotas.values():
+        assert all(math.isfinite(one.tat) for one in (led.bucket, led.own_bucket, led.headroom_bucket) if one)
 
 
 def test_a_quota_that_was_lifted_while_units_are_to_be_told_holds_again_when_it_is_back() -> None:
@@ -252,11 +252,13 @@
     plan, free = api.Plan("plain", rate=1.0, burst=8.0), api.Plan("plain")
     made, totals = gateway(plans=(plan,)), dict[int, float]()
     admit(made, START, request("r0"), totals)
-    made._quota._chance = 0.3  # the counter is crowded: what has room goes unheard, and is told later
+    made._quota._call_probability = (
+        0.3  # the counter is crowded: what has room goes unheard, and is told later
+    )
     [flush] = [
         one for one in only(made.handle(START + 1, request("r1")), api.SetTimer) if one.at_ms > START + 3000
     ]
-    made.retune(replace(made._settings, plans=(free,)))
+    made.update_settings(replace(made._settings, plans=(free,)))
     admit(made, START + 2, request("r2"), totals)
     answer(
         made,
@@ -264,7 +266,7 @@
         only(made.handle(flush.at_ms, api.TimerFired(flush.token)), api.AddToCounter),
         totals,
     )
-    made.retune(replace(made._settings, plans=(plan,)))
+    made.update_settings(replace(made._settings, plans=(plan,)))
     sent = 0
     for n in range(60):
         now = flush.at_ms + 1 + n
@@ -279,7 +281,7 @@
 
     def retries(gateways: int, then: int) -> int:
         made = gateway(gateway_count=gateways, plans=(api.Plan("plain"),), classes=(SAFE,))
-        made.retune(replace(made._settings, gateway_count=then))
+        made.update_settings(replace(made._settings, gateway_count=then))
         got = 0
         for n in range(60):
             [send] = only(made.handle(START + 50 * n, request(f"r{n}")), api.SendAttempt)
@@ -305,7 +307,7 @@
     def sent(gateways: int, then: int) -> int:
         made, got = gateway(gateway_count=gateways, plans=(plan,), has_counter=False), 0
         made.handle(START, request("r0", spread=gateways))
-        made.retune(replace(made._settings, gateway_count=then, plans=(replace(plan),)))
+        made.update_settings(replace(made._settings, gateway_count=then, plans=(replace(plan),)))
         for n in range(100):
             for send in only(made.handle(START + 10 + n, request(f"x{n}", spread=then)), api.SendAttempt):
                 got += 1
--- a/tests/decisions/test_rules.py
+++ b/tests/decisions/test_rules.py
@@ -313,21 +313,23 @@
 def test_a_limit_that_slow_answers_took_off_comes_back_with_quick_ones() -> None:
     """It came back only through answers that met it: minutes of refusals followed a stall of a second."""
     made = free()
-    made._fleet._more = -2.0
+    made._balancer._extra_concurrency = -2.0
     for n in range(200):
         now = START + 20 * n
         for send in sends(made, now, request(f"q{n}")):
             made.handle(now + 10, outcome(send, api.Verdict.OK, rtt=10.0))
-    assert made._fleet._more >= 0
+    assert made._balancer._extra_concurrency >= 0
 
 
 def test_a_cold_server_is_expected_to_be_slow_until_it_is_warm() -> None:
     """Unseen, it was taken to be as quick as the others, and its first requests came late."""
     cold, warm = server(2, started=START - 1.0), server(1)
     made = free(servers=[warm, cold])
-    at = {n: sum(made._fleet._expect(START, made._fleet._peers[n])) for n in (1, 2)}
+    at = {n: sum(made._balancer._expected_latency(START, made._balancer._servers[n])) for n in (1, 2)}
     assert at[2] == pytest.approx(at[1] / SETTINGS.slow_start_fraction, rel=0.01)
-    assert sum(made._fleet._expect(START + 10_000, made._fleet._peers[2])) == pytest.approx(at[1])
+    assert sum(made._balancer._expected_latency(START + 10_000, made._balancer._servers[2])) == pytest.approx(
+        at[1]
+    )
 
 
 def measured() -> DecisionEngine:
@@ -356,9 +358,9 @@
     made = measured()
     sends(made, START, request("lost"))
     [send] = sends(made, START + 10, request("r1"))
-    assert sum(made._fleet._expect(START + 900, made._fleet._peers[1])) > 600
+    assert sum(made._balancer._expected_latency(START + 900, made._balancer._servers[1])) > 600
     made.handle(START + 900, outcome(send, api.Verdict.OK, rtt=50.0))
-    assert sum(made._fleet._expect(START + 900, made._fleet._peers[1])) < 400
+    assert sum(made._balancer._expected_latency(START + 900, made._balancer._servers[1])) < 400
 
 
 def test_an_answer_lost_on_its_way_jams_no_server() -> None:
@@ -368,7 +370,7 @@
     [send] = sends(made, START + 10, request("r1"))
     made.handle(START + 30, outcome(send, api.Verdict.OK, rtt=20.0))
     made.handle(START + 3900, outcome(lost, api.Verdict.TIMEOUT, rtt=3900.0, ended=True))
-    assert sum(made._fleet._expect(START + 3900, made._fleet._peers[1])) < 200
+    assert sum(made._balancer._expected_latency(START + 3900, made._balancer._servers[1])) < 200
 
 
 def test_a_server_that_is_only_guessed_to_be_jammed_is_tried_beside_sound_ones() -> None:
@@ -377,9 +379,12 @@
     for n in range(40):
         for send in sends(made, START - 500 + 5 * n, request(f"m{n}")):
             made.handle(START - 490 + 5 * n, outcome(send, api.Verdict.OK, rtt=20.0))
-    jammed = made._fleet._peers[2]
-    made._fleet._jammed(START, jammed, 3000.0)
-    jammed.sent, jammed.base = START, made._fleet._peers[1].base  # as quick as the other, but for the guess
+    jammed = made._balancer._servers[2]
+    made._balancer._record_congestion(START, jammed, 3000.0)
+    jammed.last_sent_at, jammed.base_latency = (
+        START,
+        made._balancer._servers[1].base_latency,
+    )  # as quick as the other, but for the guess
     chosen: dict[int, list[int]] = {100: [], 1200: []}
     for at, servers in chosen.items():
         for n in range(20):
--- a/tests/decisions/test_slow_start.py
+++ b/tests/decisions/test_slow_start.py
@@ -113,7 +113,7 @@
                     self.sends.append((self.now, n, to))
                     self.cost.append(work / self.site.mean)
                     self.out[to] += 1
-                    attempt = len(self.made[n]._jobs[rid].attempts) - 1
+                    attempt = len(self.made[n]._pending[rid].attempts) - 1
                     self._open[n, rid] = attempt, to, self.now
                     part = self.size[to] * self.site.part(self.now - self.born) if to in self.size else 1.0
                     took = work * self.draw.expovariate(1.0) / part * max(1.0, self.out[to] / self.cores)
--- a/tests/gateway/test_dispatcher.py
+++ b/tests/gateway/test_dispatcher.py
@@ -112,11 +112,11 @@
     """Long values held the places of queries that servers had room for."""
     made = samples.gateway(has_counter=False)
     [sent] = samples.only(made.handle(samples.START, samples.request("a", spread=1)), api.SendAttempt)
-    assert made._fleet._out == 1 and made._fleet._peers[sent.server].out
+    assert made._balancer._in_flight == 1 and made._balancer._servers[sent.server].in_flight
     made.handle(samples.START + 10.0, api.ResponseStarted("a"))
-    assert made._fleet._out == 0 and not made._fleet._peers[sent.server].out
+    assert made._balancer._in_flight == 0 and not made._balancer._servers[sent.server].in_flight
     made.handle(samples.START + 900.0, samples.outcome(sent, api.Verdict.OK, rtt=10.0))
-    assert made._fleet._out == 0 and not made._jobs
+    assert made._balancer._in_flight == 0 and not made._pending
 
 
 def test_a_served_attempt_is_the_answer() -> None:
--- a/tests/gateway/test_faults_by_stage.py
+++ b/tests/gateway/test_faults_by_stage.py
@@ -209,7 +209,7 @@
 async def units_gathered(at: World) -> None:
     """Known to have much room, so that the units are told some time afterwards."""
     assert await at.ask("before") == b"value"
-    at.module._quota._chance = 0.5  # a crowded counter
+    at.module._quota._call_probability = 0.5  # a crowded counter
     await written_whole(at)
     assert at.counter.units == 1
 
@@ -339,7 +339,7 @@
             # The quota is neither passed nor lost: what is left of it is let through, and no more.
             await until(lambda: at.app._counter and at.app._counter._used and at.app._hosts.ready)
             for n in range(BURST + 4):
-                at.module._quota._chance = 1.0  # the counter is sound again, and asked
+                at.module._quota._call_probability = 1.0  # the counter is sound again, and asked
                 await at.ask(f"more{n}")
             sent = at.node.books.units[5] - BURST
             assert sent == KNOWN.get((stage, fault), 0)
--- a/tests/gateway/test_golden_hot_restart.py
+++ b/tests/gateway/test_golden_hot_restart.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 import pytest
+from msgspec.structs import astuple
 
 from badgeryoke.decisions import interface as api
 from badgeryoke.decisions import state_snapshot
@@ -34,8 +35,8 @@
     drive = policy_drive.Drive(gateway, FIRST_SEED, samples.START)
     drive.schedule(policy_drive.FRESH_AT, api.EndpointList(api.ListScope.CHANGES, (policy_drive.FRESH,)))
     drive.play(EVENTS)
-    forgetful = gateway._quota._ledgers[8]
-    forgetful.epoch, forgetful.last_epoch = 3, 2  # as after a counter that had forgotten
+    forgetful = gateway._quota._quotas[8]
+    forgetful.epoch, forgetful.previous_epoch = 3, 2  # as after a counter that had forgotten
     return drive
 
 
@@ -84,17 +85,19 @@
     state = decoded(golden(STATE))
     idle = (0, None)
     for columns in (
-        zip(*(ledger.figures for ledger in state.ledgers), strict=True),
-        zip(*(peer.figures for peer in state.peers), strict=True),
+        zip(*(astuple(customer.fields) for customer in state.customers), strict=True),
+        zip(*(astuple(server.fields) for server in state.servers), strict=True),
     ):
         assert all(any(value not in idle for value in column) for column in columns)
-    assert all(value not in idle for value in [*state.quota, *state.fleet, state.retries])
-    assert len({*state.quota, *state.fleet}) == len([*state.quota, *state.fleet])
-    assert len(state.ledgers) == len(policy_drive.CUSTOMERS) and len(state.peers) == len(NAMES)
-    for amounts in zip(
-        *((ledger.owed, ledger.settled, ledger.maybe) for ledger in state.ledgers), strict=True
-    ):
-        assert any(amounts)
+    gateway_fields = [*astuple(state.quota_manager), *astuple(state.balancer)]
+    assert all(value not in idle for value in [*gateway_fields, state.retry_budget])
+    assert len(set(gateway_fields)) == len(gateway_fields)
+    assert len(state.customers) == len(policy_drive.CUSTOMERS) and len(state.servers) == len(NAMES)
+    amounts = [
+        (customer.unreported_units, customer.correction_units, customer.uncertain_units)
+        for customer in state.customers
+    ]
+    assert all(any(column) for column in zip(*amounts, strict=True))
 
 
 def test_a_state_that_was_read_is_written_as_it_was() -> None:
--- a/tests/gateway/test_hot_restart.py
+++ b/tests/gateway/test_hot_restart.py
@@ -45,12 +45,12 @@
 def used() -> Any:
     """A module that has sent for a customer, owes units, and knows a server."""
     made = samples.gateway()
-    made._quota._chance = 1.0
+    made._quota._call_probability = 1.0
     totals: dict[int, float] = {}
     actions = samples.admit(made, samples.START, samples.request("a", units=2.0), totals)
     [sent] = samples.only(actions, api.SendAttempt)
     made.handle(samples.START + 40.0, samples.outcome(sent, api.Verdict.OK, rtt=40.0))
-    made._quota._ledgers[7].owed = 1.5
+    made._quota._quotas[7].unreported_units = 1.5
     capped = samples.request("c", plan="capped", customer=8)
     samples.admit(made, samples.START, capped, totals)
     return made, sent.server
@@ -67,28 +67,28 @@
     actions = state_snapshot.restore_snapshot(
         new, now, state_snapshot.decode(body, checksum), {f"s{n}": n for n in range(1, 5)}
     )
-    before, after = old._quota._ledgers[7], new._quota._ledgers[7]
-    assert after.quota.room(now) == pytest.approx(before.quota.room(now))
-    assert (after.period, after.base, after.told, after.owed) == (
+    before, after = old._quota._quotas[7], new._quota._quotas[7]
+    assert after.bucket.capacity(now) == pytest.approx(before.bucket.capacity(now))
+    assert (after.period, after.last_total, after.synchronized, after.unreported_units) == (
         before.period,
-        before.base,
-        before.told,
-        before.owed,
+        before.last_total,
+        before.synchronized,
+        before.unreported_units,
     )
-    assert new._fleet._peers[server].latency == old._fleet._peers[server].latency
+    assert new._balancer._servers[server].latency == old._balancer._servers[server].latency
     [wake] = samples.only(actions, api.SetTimer)  # what is owed is reported though nobody asks
     [count] = samples.only(new.handle(wake.at_ms, api.TimerFired(wake.token)), api.AddToCounter)
     assert count.units == 1.5
     state_snapshot.mark_transferred(old, handed)
-    assert before.owed == 0.0  # and reported once
-    assert old._quota._ledgers[8].head.room(now) == -math.inf  # the headroom is the successor's
+    assert before.unreported_units == 0.0  # and reported once
+    assert old._quota._quotas[8].headroom_bucket.capacity(now) == -math.inf  # the headroom is the successor's
 
 
 def test_what_does_not_fit_the_settings_is_left_out() -> None:
     old, _ = used()
     handed = state_snapshot.take_snapshot(old, {})
     new = samples.gateway(plans=(replace(samples.PLAIN, burst=40.0),))  # another period, and one plan less
-    assert state_snapshot.restore_snapshot(new, samples.START, handed, {}) == [] and not new._quota._ledgers
+    assert state_snapshot.restore_snapshot(new, samples.START, handed, {}) == [] and not new._quota._quotas
 
 
 @pytest.mark.parametrize(
@@ -170,7 +170,7 @@
                 await until(lambda: asked > before + 5 or any(one.done() for one in clients))  # noqa: B023
                 fresh = await started(made)
                 await until(lambda: app._drain.state is ShutdownState.YIELDING)  # noqa: B023
-                assert fresh.core._module._quota._ledgers.keys() == {5}  # type: ignore[attr-defined]
+                assert fresh.core._module._quota._quotas.keys() == {5}  # type: ignore[attr-defined]
                 await ended(app)
                 app = fresh
             stop = True
@@ -230,7 +230,7 @@
             if server is not None:
                 server.close()
             fresh = await started(made)  # and it can itself be replaced
-            assert fresh.core._module._quota._ledgers  # type: ignore[attr-defined]
+            assert fresh.core._module._quota._quotas  # type: ignore[attr-defined]
             await ended(app, fresh)
 
     play(test)
--- a/tests/gateway/test_reload.py
+++ b/tests/gateway/test_reload.py
@@ -199,12 +199,12 @@
     made = samples.gateway(has_counter=False)
     now = samples.START
     asked = samples.request("a", units=3.0, spread=1)
-    led = made._quota.ledger(now, asked)
-    led.quota.take(3.0, now)
+    led = made._quota.quota_for(now, asked)
+    led.bucket.consume(3.0, now)
     plan = replace(samples.PLAIN, rate=rate, burst=burst)
-    made.retune(replace(samples.SETTINGS, plans=(plan, samples.CAPPED)))
-    assert made._quota.ledger(now, asked) is led and led.plan is plan
-    assert led.quota.room(now) == pytest.approx(room)
+    made.update_settings(replace(samples.SETTINGS, plans=(plan, samples.CAPPED)))
+    assert made._quota.quota_for(now, asked) is led and led.plan is plan
+    assert led.bucket.capacity(now) == pytest.approx(room)
 
 
 def test_a_call_that_is_out_is_answered_before_the_new_plan_is_taken_up() -> None:
@@ -212,10 +212,12 @@
     now = samples.START
     [count] = samples.only(made.handle(now, samples.request("a")), api.AddToCounter)
     plan = replace(samples.PLAIN, rate=2.0, burst=30.0)
-    made.retune(replace(samples.SETTINGS, plans=(plan, samples.CAPPED)))
-    led = made._quota.ledger(now, samples.request("b"))
+    made.update_settings(replace(samples.SETTINGS, plans=(plan, samples.CAPPED)))
+    led = made._quota.quota_for(now, samples.request("b"))
     assert led.plan is samples.PLAIN  # its answer belongs to the old period
     made.handle(now, api.CounterReply(count.name, api.Verdict.OK, 1.0, 1.0))
-    assert made._quota.ledger(now, samples.request("b")).plan is plan
+    assert made._quota.quota_for(now, samples.request("b")).plan is plan
     replan(now, led, replace(plan, ceiling_rate=9.0, ceiling_burst=60.0), samples.SETTINGS)
-    assert led.head is not None and led.head.room(now) == 0.0  # a new ceiling's headroom starts empty
+    assert (
+        led.headroom_bucket is not None and led.headroom_bucket.capacity(now) == 0.0
+    )  # a new ceiling's headroom starts empty
--- a/tests/project/test_project.py
+++ b/tests/project/test_project.py
@@ -4,21 +4,43 @@
 
 import ast
 import re
+import tomllib
 from pathlib import Path
 
+import pytest
+
 from tests.support.paths import ROOT
 
+POLICY = ROOT / "badgeryoke/decisions/policy"
+POLICY_PACKAGE = "badgeryoke.decisions.policy"
+
+
+def policy_files() -> list[Path]:
+    """Every file of the policy, with the package's own."""
+    files = sorted(POLICY.rglob("*.py"))
+    assert {"__init__.py", "engine.py", "load_balancing.py", "quota.py"} <= {file.name for file in files}
+    return files
+
 
-def test_the_module_keeps_its_budget() -> None:
-    lines = (ROOT / "badgeryoke/decisions/policy/engine.py").read_text(encoding="utf-8").splitlines()
-    assert sum(1 for line in lines if line.strip()) <= 800
-    assert max(map(len, lines)) <= 110
-    assert "badgeryoke/decisions/interface.py" in lines[0]
+def test_the_policy_keeps_its_budget() -> None:
+    texts = {file: file.read_text(encoding="utf-8").splitlines() for file in policy_files()}
+    assert sum(1 for lines in texts.values() for line in lines if line.strip()) <= 800
+    assert max(len(line) for lines in texts.values() for line in lines) <= 110
+    assert "badgeryoke/decisions/interface.py" in texts[POLICY / "engine.py"][0]
 
 
-def test_no_state_outside_the_instances() -> None:
+def test_the_policy_holds_nothing_but_python_and_is_listed_file_by_file() -> None:
+    """Neither a file of another kind nor one that is not listed escapes the budget."""
+    files = [file for file in POLICY.rglob("*") if file.is_file() and "__pycache__" not in file.parts]
+    assert sorted(files) == policy_files()
+    listed = tomllib.loads((ROOT / "deploy/balancer.toml").read_text(encoding="utf-8"))["policy"]
+    assert sorted(ROOT / name for name in listed) == policy_files()
+
+
+@pytest.mark.parametrize("file", policy_files(), ids=lambda file: file.name)
+def test_no_state_outside_the_instances(file: Path) -> None:
     """Read from the syntax tree: constants at the top, no clock, no hash(), no random but the seeded."""
-    tree = ast.parse((ROOT / "badgeryoke/decisions/policy/engine.py").read_text(encoding="utf-8"))
+    tree = ast.parse(file.read_text(encoding="utf-8"))
     for node in tree.body:
         if isinstance(node, ast.Assign | ast.AnnAssign | ast.AugAssign):
             assert isinstance(node, ast.Assign) and isinstance(node.targets[0], ast.Name)
@@ -30,6 +52,8 @@
         assert not isinstance(part, ast.Global | ast.Set | ast.SetComp)
         if isinstance(part, ast.Import):
             assert {name.name for name in part.names} <= {"math", "random"}
+        if isinstance(part, ast.ImportFrom):
+            assert part.module == "dataclasses" or (part.module or "").startswith("badgeryoke.decisions")
         if isinstance(part, ast.Attribute) and isinstance(part.value, ast.Name) and part.value.id == "random":
             assert part.attr == "Random"
         if isinstance(part, ast.Name):
@@ -42,8 +66,9 @@
     return path / "__init__.py" if path.is_dir() else path.with_suffix(".py")
 
 
-def test_what_the_module_imports_imports_nothing_of_it() -> None:
-    found, seen = ["badgeryoke.decisions.policy.engine"], dict[str, None]()
+def test_what_the_policy_imports_imports_nothing_of_it() -> None:
+    found = [f"{POLICY_PACKAGE}.{file.stem}" for file in policy_files() if file.stem != "__init__"]
+    seen = dict.fromkeys(found)
     while found:
         name = found.pop()
         tree = ast.parse(source_of(name).read_text(encoding="utf-8"))
@@ -53,9 +78,12 @@
             f"{module}.{one}" if source_of(f"{module}.{one}").is_file() else module for module, one in pairs
         ]
         here = [module for module in named if module.startswith("badgeryoke")]
-        assert "badgeryoke.decisions.policy.engine" not in here, name
+        if not name.startswith(POLICY_PACKAGE):
+            assert not any(module.startswith(POLICY_PACKAGE) for module in here), name
         found += [module for module in here if module not in seen]
         seen |= dict.fromkeys(here)
+    assert f"{POLICY_PACKAGE}.engine" not in imports_of("load_balancing") | imports_of("quota")
+    assert f"{POLICY_PACKAGE}.load_balancing" not in imports_of("quota")
     assert {
         "badgeryoke.decisions.plan_schedule.plan_change",
         "badgeryoke.decisions.counter_health.visibility",
@@ -63,6 +91,12 @@
     } <= seen.keys()
 
 
+def imports_of(name: str) -> set[str]:
+    """The modules that a module of the policy names in its imports."""
+    tree = ast.parse((POLICY / f"{name}.py").read_text(encoding="utf-8"))
+    return {part.module or "" for part in ast.walk(tree) if isinstance(part, ast.ImportFrom)}
+
+
 def test_the_readme_example_runs() -> None:
     text = (ROOT / "README.md").read_text(encoding="utf-8")
     [example] = re.findall(r"```python\n(.*?)```", text, re.S)
--- a/tests/support/event_streams.py
+++ b/tests/support/event_streams.py
@@ -317,7 +317,7 @@
         if stream.other_settings is not None:
             self._settings = draw.choice((stream.settings, stream.other_settings))
             for door, module in enumerate(self._doors):
-                self._modules[module].retune(replace(self._settings, gateway_index=door))
+                self._modules[module].update_settings(replace(self._settings, gateway_index=door))
         self._later(PHASE_MS * draw.uniform(0.4, 1.6), self._next_phase)
 
     # Clients ----------------------------------------------------------------------------------------------
--- a/tests/support/policy_fleet.py
+++ b/tests/support/policy_fleet.py
@@ -83,7 +83,7 @@
         for action in actions:
             match action:
                 case api.SendAttempt(id=rid, server=server):
-                    attempt = len(self.made[n]._jobs[rid].attempts) - 1
+                    attempt = len(self.made[n]._pending[rid].attempts) - 1
                     self.sends.append((self.now, n, server))
                     self.out[server] += 1
                     self._open[n, rid] = attempt, server, self.now
