--- a/badgeryoke/gateway/cluster/service.py
+++ b/badgeryoke/gateway/cluster/service.py
@@ -32,6 +32,7 @@
 from badgeryoke.cluster.node import ClusterNode, LeaseClient, NodeSetup
 from badgeryoke.cluster.reservations.lease_client import ReservationClient
 from badgeryoke.cluster.state_machine.part import ApplyResult, Command
+from badgeryoke.gateway.address import parse_address
 from badgeryoke.gateway.cluster.admin_calls import STATUS, line_of, read_call
 from badgeryoke.gateway.cluster.clock import ClusterClock, boot_time_ms
 from badgeryoke.gateway.cluster.node_driver import Node, NodeDriver
@@ -45,7 +46,6 @@
 )
 from badgeryoke.gateway.cluster.storage import ClusterStorage, StorageWriter
 from badgeryoke.gateway.cluster.transport import ClusterTransport
-from badgeryoke.gateway.discovery.client import split_address
 
 if TYPE_CHECKING:
     from badgeryoke.gateway.cluster.connection_leases import ConnectionLeases
@@ -179,7 +179,7 @@
         self.transport = ClusterTransport(
             self.settings.name,
             setup.id,
-            {member.name: split_address(member.address) for member in self.settings.members},
+            {member.name: parse_address(member.address) for member in self.settings.members},
             self._on_messages,
             _log_transport_error,
             Random(secrets.randbits(_RANDOM_SEED_BITS)),
--- a/badgeryoke/gateway/cluster/startup.py
+++ b/badgeryoke/gateway/cluster/startup.py
@@ -15,9 +15,9 @@
 from badgeryoke.cluster.messages import MemberId
 from badgeryoke.cluster.node import ANY, Member, NodeSetup
 from badgeryoke.cluster.placement.directory import forced
+from badgeryoke.gateway.address import parse_address
 from badgeryoke.gateway.cluster.settings import ClusterSettings
 from badgeryoke.gateway.cluster.storage import ClusterStorage, StorageLocked, open_storage
-from badgeryoke.gateway.discovery.client import split_address
 
 log = logging.getLogger(__name__)
 
@@ -63,7 +63,7 @@
 
 async def listen_when_free(address: str, closed: Callable[[], bool]) -> list[socket.socket]:
     """Listen on an address, IP:PORT, as soon as it is free; no sockets where `closed` comes first."""
-    host, port = split_address(address)
+    host, port = parse_address(address)
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
     logged = False
     while not closed():
