--- a/badgeryoke/gateway/cluster/admin_calls.py
+++ b/badgeryoke/gateway/cluster/admin_calls.py
@@ -1,16 +1,18 @@
-"""The FLEET call: one JSON object in, a command for the fleet out; and its answer as one line.
+"""The operators' FLEET call: one JSON object in, a command for the cluster out; and its answer as one line.
 
     FLEET {"do": "put", "id": "7f3a", "name": "payday", "value": "armed"}
     +OK null
     -ERR {"error": "no-leader", "whom": "g3", "what": "...", "do": "...", "retry": true}
 
-`do` names a command as its type does, in any case, with or without hyphens ("PromiseRead", "promise-read").
+`do` names a command by its tag, in any case, with or without hyphens ("PromiseRead", "promise-read").
 """
 
 from __future__ import annotations
 
 import difflib
 import secrets
+from collections.abc import Sequence
+from dataclasses import dataclass
 from typing import Any
 
 import msgspec
@@ -19,11 +21,14 @@
 from badgeryoke.cluster.state_machine.machine import REGISTRY
 from badgeryoke.cluster.state_machine.part import ApplyResult, Command
 
-MOST_CALL = 64 * 1024  # bytes of a line
-MOST_ID = 128
-STATUS = "status"
-# What an operator may ask for; all others are the fleet's own, and would break its order.
-OPERATORS = frozenset(
+MAX_ID_CHARS = 128
+# Of what a call has wrong, as an error quotes it.
+_MAX_QUOTED_CHARS = 64
+_GENERATED_ID_BYTES = 8
+_STATUS_NAME = "status"
+# Tags of the commands that an operator may call for.  All others are the cluster's own: from outside they would break
+# its order.
+_OPERATOR_COMMAND_TAGS = frozenset(
     {
         "Promise",
         "PromiseRead",
@@ -42,77 +47,98 @@
         "Unlimit",
     }
 )
-ALSO = {"put": "promise", "get": "promiseread", "cancel": "cancelcontract", "read": "contractsread"}
+_ALIASES = {"put": "promise", "get": "promiseread", "cancel": "cancelcontract", "read": "contractsread"}
 
 
-def _plain(word: str) -> str:
-    return word.replace("-", "").replace("_", "").lower()
+@dataclass(frozen=True, slots=True)
+class StatusRequest:
+    """The call for the status of this member."""
 
 
-def known() -> dict[str, type[Command]]:
-    """The operators' commands that this program has, by their plain names."""
-    return {_plain(name): kind for name, kind in REGISTRY.commands.items() if name in OPERATORS}
+def operator_commands() -> dict[str, type[Command]]:
+    """The operators' commands that this program has, by their normalized names."""
+    return {
+        _normalized(tag): kind for tag, kind in REGISTRY.commands.items() if tag in _OPERATOR_COMMAND_TAGS
+    }
+
+
+def parse_call(line: bytes) -> Command | StatusRequest | InvalidCall:
+    """What a call asks for, or what is wrong with it."""
+    fields = _decode_object(line)
+    if isinstance(fields, InvalidCall):
+        return fields
+    name = fields.pop("do", None) or fields.pop("call", None)
+    if not isinstance(name, str):
+        return InvalidCall("do", "missing: the name of a call")
+    normalized = _normalized(name)
+    normalized = _ALIASES.get(normalized, normalized)
+    if normalized == _STATUS_NAME:
+        return StatusRequest()
+    commands = operator_commands()
+    if normalized not in commands:
+        known_names = [_STATUS_NAME, *sorted(kind.command_name() for kind in commands.values())]
+        quoted = name[:_MAX_QUOTED_CHARS]
+        return InvalidCall("do", f"{quoted!r} is unknown; {_hint(quoted, known_names)}")
+    return _parse_command(fields, commands[normalized])
+
+
+def format_answer(result: ApplyResult | ClusterError) -> bytes:
+    """The line that answers a call."""
+    error = result if isinstance(result, ClusterError) else result.error
+    if error is None:
+        assert isinstance(result, ApplyResult)
+        return b"+OK " + msgspec.json.encode(result.value) + b"\n"
+    fields = {**msgspec.to_builtins(error), "error": error.code, "do": error.do, "retry": error.retry}
+    return b"-ERR " + msgspec.json.encode(fields) + b"\n"
+
+
+def _normalized(name: str) -> str:
+    return name.replace("-", "").replace("_", "").lower()
+
 
+def _hint(word: str, known: Sequence[str]) -> str:
+    """The known word that is nearest, or all of them."""
+    nearest = difflib.get_close_matches(word, known, 1)
+    return f"did you mean {nearest[0]}?" if nearest else f"known are {', '.join(known)}"
 
-def read_call(raw: bytes) -> Command | InvalidCall | str:
-    """The command, or what is wrong; STATUS for that one."""
+
+# An object's values are `Any` until they are converted to a command.
+
+
+def _decode_object(line: bytes) -> dict[str, Any] | InvalidCall:
     try:
-        given: Any = msgspec.json.decode(raw)
+        decoded: Any = msgspec.json.decode(line)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as fault:
         return InvalidCall("call", f"expected one JSON object on the line: {fault}")
-    if not isinstance(given, dict):
-        return InvalidCall("call", f"expected one JSON object on the line, got {str(given)[:64]!r}")
-    word = given.pop("do", None) or given.pop("call", None)
-    if not isinstance(word, str):
-        return InvalidCall("do", "missing: the name of a call")
-    plain, kinds = _plain(word), known()
-    plain = ALSO.get(plain, plain)
-    if plain == STATUS:
-        return STATUS
-    kind = kinds.get(plain)
-    if kind is None:
-        names = [STATUS, *sorted(one.command_name() for one in kinds.values())]
-        close = difflib.get_close_matches(word[:64], names, 1)
-        return InvalidCall(
-            "do",
-            f"{word[:64]!r} is unknown; "
-            + (f"did you mean {close[0]}?" if close else f"known are {', '.join(names)}"),
-        )
-    fields = [field.encode_name for field in msgspec.structs.fields(kind)]
-    for key in given:
-        if key not in fields:
-            close = difflib.get_close_matches(key[:64], fields, 1)
-            return InvalidCall(
-                key[:64],
-                "unknown; " + (f"did you mean {close[0]}?" if close else f"known are {', '.join(fields)}"),
-            )
+    if not isinstance(decoded, dict):
+        quoted = str(decoded)[:_MAX_QUOTED_CHARS]
+        return InvalidCall("call", f"expected one JSON object on the line, got {quoted!r}")
+    return decoded
+
+
+def _parse_command(fields: dict[str, Any], kind: type[Command]) -> Command | InvalidCall:
+    """A command of that type, or the key that is wrong."""
+    known_keys = [field.encode_name for field in msgspec.structs.fields(kind)]
+    for key in fields:
+        if key not in known_keys:
+            quoted = key[:_MAX_QUOTED_CHARS]
+            return InvalidCall(quoted, f"unknown; {_hint(quoted, known_keys)}")
     if kind.reads:
-        given.setdefault("id", secrets.token_hex(8))
-    elif "id" not in given:
+        fields.setdefault("id", secrets.token_hex(_GENERATED_ID_BYTES))
+    elif "id" not in fields:
         return InvalidCall("id", "missing: with an id of its own the call can be made again without harm")
     try:
-        made: Command = msgspec.convert(given, kind)
+        command: Command = msgspec.convert(fields, kind)
     except msgspec.ValidationError as fault:
-        problem, _, at = str(fault).replace("`", "").partition(" - at $")
-        return InvalidCall(at.lstrip(".") or "call", problem)
-    if not 0 < len(made.id) <= MOST_ID:
-        return InvalidCall("id", f"expected 1 to {MOST_ID} characters")
-    if problem := made.validate():
-        key, colon, what = problem.partition(": ")
-        return InvalidCall(key if colon else "call", what if colon else problem)
-    return made
+        problem, _, path = str(fault).replace("`", "").partition(" - at $")
+        return InvalidCall(path.lstrip(".") or "call", problem)
+    return _validated(command)
 
 
-def line_of(result: ApplyResult | ClusterError) -> bytes:
-    """The answer, one line."""
-    error = result if isinstance(result, ClusterError) else result.error
-    if error is None:
-        assert isinstance(result, ApplyResult)
-        return b"+OK " + msgspec.json.encode(result.value) + b"\n"
-    return (
-        b"-ERR "
-        + msgspec.json.encode(
-            {**msgspec.to_builtins(error), "error": error.code, "do": error.do, "retry": error.retry}
-        )
-        + b"\n"
-    )
+def _validated(command: Command) -> Command | InvalidCall:
+    if not 0 < len(command.id) <= MAX_ID_CHARS:
+        return InvalidCall("id", f"expected 1 to {MAX_ID_CHARS} characters")
+    if problem := command.validate():
+        key, colon, what = problem.partition(": ")
+        return InvalidCall(key, what) if colon else InvalidCall("call", problem)
+    return command
--- a/badgeryoke/gateway/cluster/service.py
+++ b/badgeryoke/gateway/cluster/service.py
@@ -33,7 +33,7 @@
 from badgeryoke.cluster.reservations.lease_client import ReservationClient
 from badgeryoke.cluster.state_machine.part import ApplyResult, Command
 from badgeryoke.gateway.address import parse_address
-from badgeryoke.gateway.cluster.admin_calls import STATUS, line_of, read_call
+from badgeryoke.gateway.cluster.admin_calls import StatusRequest, format_answer, parse_call
 from badgeryoke.gateway.cluster.clock import ClusterClock, boot_time_ms
 from badgeryoke.gateway.cluster.node_driver import Node, NodeDriver
 from badgeryoke.gateway.cluster.pending_calls import PendingCalls
@@ -278,13 +278,13 @@
 
     async def answer(self, line: bytes) -> bytes:
         """The operators' FLEET call: the rest of its line, and the line that answers it."""
-        read = read_call(line)
-        if isinstance(read, Command):
-            return line_of(await self.call(read))
-        if read == STATUS:
-            return line_of(ApplyResult(self.status()))
-        assert isinstance(read, ClusterError)
-        return line_of(read)
+        match parse_call(line):
+            case Command() as command:
+                return format_answer(await self.call(command))
+            case StatusRequest():
+                return format_answer(ApplyResult(self.status()))
+            case invalid:
+                return format_answer(invalid)
 
     def status(self) -> dict[str, Any]:
         """For operators: JSON values, which the node and its parts add to."""
--- a/badgeryoke/gateway/cluster/settings.py
+++ b/badgeryoke/gateway/cluster/settings.py
@@ -1,10 +1,14 @@
-"""The [fleet] section of the operators' file: checked into typed values, every fault named by its key."""
+"""The [fleet] section of the operators' file: checked into typed values, every fault named by its key.
+
+Fields are named as the keys of the file, which are an interface.
+"""
 
 from __future__ import annotations
 
 import importlib.util
 import re
 from collections import Counter
+from collections.abc import Iterable
 from typing import Any
 
 import msgspec
@@ -14,24 +18,27 @@
 from badgeryoke.gateway.address import parse_address
 from badgeryoke.gateway.config.operators_file import unknown, wrong
 
-MOST_MEMBERS, MOST_GROUPS, MOST_CONNECTIONS = 256, 256, 65_535
-COPIES = (3, 5, 1)  # 1: to try it out; a promise then outlives no machine
-NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,47}")
-GROUP = re.compile(r"fleet|g\d{1,3}")
+MAX_MEMBERS = 256
+MAX_GROUPS = 256
+MAX_CONNECTIONS = 65_535  # to one server
+REPLICA_COUNTS = (3, 5, 1)  # 1: to try it out; what is acknowledged then outlives no machine
+_NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,47}")
+_NAME_FORM = "expected 1 to 48 letters, digits, '.', '_' or '-'"
+_GROUP_PATTERN = re.compile(r"fleet|g\d{1,3}")
 
 
 class MemberEntry(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """One machine of the fleet."""
+    """One gateway of the cluster."""
 
     name: str
-    hall: str
-    address: str  # IP:PORT of the fleet's own links; the own one is listened on
+    hall: str  # zone
+    address: str  # IP:PORT of the cluster's own connections; the own one is listened on
 
 
 class Servers(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The most connections that a load server holds, over all gateways; 0: no limit is kept."""
 
-    connections: int = 0  # of each that `limits` does not name
+    connections: int = 0  # of each server that `limits` does not name
     limits: dict[str, int] = msgspec.field(default_factory=dict)
 
 
@@ -42,86 +49,112 @@
     name: str = ""
     me: str = ""  # the own member's name; LB_NAME where it is empty
     folder: str = ""  # this member's own, on a disk that keeps what it has synced
-    copies: int = 3
+    copies: int = 3  # replicas of each group
     groups: int = 8
     members: tuple[MemberEntry, ...] = ()
     timings: Timings = Timings()
-    capacity: float = 0.0  # units a second that contracts may take in all; 0: none can be made
+    capacity: float = 0.0  # units/s that all reservations may take; 0: none can be made
     servers: Servers = msgspec.field(default_factory=Servers)
-    fsync: bool = True  # false: a death of the machine may take back what was acknowledged
-    # The one act by hand, for a group whose majority is lost for good: group = the Ids (name/incarnation)
-    # given up.
+    fsync: bool = True  # false: a crash of the machine may lose what was acknowledged
+    # The one act by hand, for a group whose majority is lost for good: the Ids (name/incarnation) given up, by group.
     forced: dict[str, tuple[str, ...]] = msgspec.field(default_factory=dict)
 
 
-def read_fleet(raw: dict[str, Any]) -> tuple[ClusterSettings | None, list[str]]:
-    """The section as read, and its faults, each with its key."""
-    shown = {**raw, "members": []}
-    found = unknown(shown, ClusterSettings, "fleet.") + wrong(shown, ClusterSettings, "fleet.")
-    members = raw.get("members", [])
-    if isinstance(members, list) and all(isinstance(one, dict) for one in members):
-        for at, one in enumerate(members):
-            path = f"fleet.members[{at}]."
-            found += unknown(one, MemberEntry, path) + wrong(one, MemberEntry, path)
-            found += [f"{path}{key}: missing" for key in ("name", "hall", "address") if key not in one]
-    else:
-        found.append("fleet.members: expected tables, [[fleet.members]]")
-    if found:
-        return None, found
+def read_cluster_settings(section: dict[str, Any]) -> tuple[ClusterSettings | None, list[str]]:
+    """The section as parsed from TOML, checked; and its faults, each with its key.  None where a value cannot be
+    converted."""
+    faults = _form_faults(section)
+    if faults:
+        return None, faults
     try:
-        made = msgspec.convert(raw, ClusterSettings)
+        settings = msgspec.convert(section, ClusterSettings)
     except msgspec.ValidationError as fault:
         return None, [f"fleet: {str(fault).replace('`', '')}"]
-    return made, _faults(made)
-
-
-def _faults(made: ClusterSettings) -> list[str]:
-    """What a value of the right form has wrong."""
-    found = []
-    if not NAME.fullmatch(made.name):
-        found.append(f"fleet.name: expected 1 to 48 letters, digits, '.', '_' or '-', got {made.name!r}")
-    if not made.folder:
-        found.append("fleet.folder: missing: the folder in which this member keeps its copies")
-    if made.copies not in COPIES:
-        found.append(f"fleet.copies: expected 3 or 5 (or 1, to try it out), got {made.copies}")
-    if not 1 <= made.groups <= MOST_GROUPS:
-        found.append(f"fleet.groups: expected 1 to {MOST_GROUPS}, got {made.groups}")
-    if not 0 <= made.capacity < float("inf"):
-        found.append(f"fleet.capacity: expected 0 or above, got {made.capacity!r}")
-    if len(made.members) > MOST_MEMBERS:
-        found.append(f"fleet.members: {len(made.members)}, {MOST_MEMBERS} are the most")
-    if len(made.members) < made.copies:
-        found.append(f"fleet.members: {len(made.members)} cannot hold {made.copies} copies")
-    twice = {kind: Counter(getattr(one, kind) for one in made.members) for kind in ("name", "address")}
-    for at, one in enumerate(made.members):
-        path = f"fleet.members[{at}]"
-        found += [
-            f"{path}.{key}: expected 1 to 48 letters, digits, '.', '_' or '-', got {getattr(one, key)!r}"
-            for key in ("name", "hall")
-            if not NAME.fullmatch(getattr(one, key))
-        ]
-        found += [
-            f"{path}.{kind}: {getattr(one, kind)!r} stands twice"
-            for kind, those in twice.items()
-            if those[getattr(one, kind)] > 1
-        ]
+    return settings, _value_faults(settings)
+
+
+def _form_faults(section: dict[str, Any]) -> list[str]:
+    """Unknown and missing keys, and values of another type."""
+    without_members = {**section, "members": []}
+    faults = unknown(without_members, ClusterSettings, "fleet.")
+    faults += wrong(without_members, ClusterSettings, "fleet.")
+    members = section.get("members", [])
+    if not isinstance(members, list) or not all(isinstance(member, dict) for member in members):
+        return [*faults, "fleet.members: expected tables, [[fleet.members]]"]
+    for position, member in enumerate(members):
+        path = f"fleet.members[{position}]."
+        faults += unknown(member, MemberEntry, path) + wrong(member, MemberEntry, path)
+        faults += [f"{path}{key}: missing" for key in ("name", "hall", "address") if key not in member]
+    return faults
+
+
+def _value_faults(settings: ClusterSettings) -> list[str]:
+    """What values of the right type have wrong."""
+    faults = [
+        *_scalar_faults(settings),
+        *_member_faults(settings.members),
+        *_own_name_faults(settings),
+        *(f"fleet.timings.{fault}" for fault in timing_faults(settings.timings)),
+        *_connection_limit_faults(settings.servers),
+        *_forced_group_faults(settings.forced),
+    ]
+    if settings.enabled and importlib.util.find_spec("xxhash") is None:
+        faults.append("fleet.enabled: xxhash is not installed: pip install 'badgeryoke[fleet]'")
+    return faults
+
+
+def _scalar_faults(settings: ClusterSettings) -> Iterable[str]:
+    if not _NAME_PATTERN.fullmatch(settings.name):
+        yield f"fleet.name: {_NAME_FORM}, got {settings.name!r}"
+    if not settings.folder:
+        yield "fleet.folder: missing: the folder in which this member keeps its copies"
+    if settings.copies not in REPLICA_COUNTS:
+        yield f"fleet.copies: expected 3 or 5 (or 1, to try it out), got {settings.copies}"
+    if not 1 <= settings.groups <= MAX_GROUPS:
+        yield f"fleet.groups: expected 1 to {MAX_GROUPS}, got {settings.groups}"
+    if not 0 <= settings.capacity < float("inf"):
+        yield f"fleet.capacity: expected 0 or above, got {settings.capacity!r}"
+    if len(settings.members) > MAX_MEMBERS:
+        yield f"fleet.members: {len(settings.members)}, {MAX_MEMBERS} are the most"
+    if len(settings.members) < settings.copies:
+        yield f"fleet.members: {len(settings.members)} cannot hold {settings.copies} copies"
+
+
+def _member_faults(members: tuple[MemberEntry, ...]) -> Iterable[str]:
+    name_counts = Counter(member.name for member in members)
+    address_counts = Counter(member.address for member in members)
+    for position, member in enumerate(members):
+        path = f"fleet.members[{position}]"
+        for key, name in (("name", member.name), ("hall", member.hall)):
+            if not _NAME_PATTERN.fullmatch(name):
+                yield f"{path}.{key}: {_NAME_FORM}, got {name!r}"
+        if name_counts[member.name] > 1:
+            yield f"{path}.name: {member.name!r} stands twice"
+        if address_counts[member.address] > 1:
+            yield f"{path}.address: {member.address!r} stands twice"
         try:
-            parse_address(one.address)
+            parse_address(member.address)
         except ValueError:
-            found.append(f"{path}.address: expected IP:PORT, got {one.address!r}")
-    if made.me and made.me not in twice["name"]:
-        found.append(f"fleet.me: {made.me!r} is no member")
-    found += [f"fleet.timings.{fault}" for fault in timing_faults(made.timings)]
-    for key, most in (("connections", made.servers.connections), *made.servers.limits.items()):
-        least = 0 if key == "connections" else 1
-        if not least <= most <= MOST_CONNECTIONS:
-            path = key if key == "connections" else f"limits.{key}"
-            found.append(f"fleet.servers.{path}: expected {least} to {MOST_CONNECTIONS}, got {most}")
-    for group, lost in made.forced.items():
-        if not GROUP.fullmatch(group):
-            found.append(f"fleet.forced.{group}: expected a group: fleet, g0, g1, ...")
-        if not lost or not all("/" in one.strip("/") for one in lost):
-            found.append(f"fleet.forced.{group}: expected the members given up, each as name/incarnation")
-    if made.enabled and importlib.util.find_spec("xxhash") is None:
-        found.append("fleet.enabled: xxhash is not installed: pip install 'badgeryoke[fleet]'")
-    return found
+            yield f"{path}.address: expected IP:PORT, got {member.address!r}"
+
+
+def _own_name_faults(settings: ClusterSettings) -> Iterable[str]:
+    if settings.me and all(member.name != settings.me for member in settings.members):
+        yield f"fleet.me: {settings.me!r} is no member"
+
+
+def _connection_limit_faults(servers: Servers) -> Iterable[str]:
+    for key, limit in (("connections", servers.connections), *servers.limits.items()):
+        is_default = key == "connections"  # so is a server of that very name
+        min_limit = 0 if is_default else 1
+        if not min_limit <= limit <= MAX_CONNECTIONS:
+            path = key if is_default else f"limits.{key}"
+            yield f"fleet.servers.{path}: expected {min_limit} to {MAX_CONNECTIONS}, got {limit}"
+
+
+def _forced_group_faults(forced: dict[str, tuple[str, ...]]) -> Iterable[str]:
+    for group, lost_members in forced.items():
+        if not _GROUP_PATTERN.fullmatch(group):
+            yield f"fleet.forced.{group}: expected a group: fleet, g0, g1, ..."
+        if not lost_members or not all("/" in member.strip("/") for member in lost_members):
+            yield f"fleet.forced.{group}: expected the members given up, each as name/incarnation"
--- a/badgeryoke/gateway/config/operators_file.py
+++ b/badgeryoke/gateway/config/operators_file.py
@@ -43,7 +43,7 @@
 
     counter_watch: CounterWatch = CounterWatch()
     log: Log = Log()
-    # badgeryoke.gateway.cluster.settings.Fleet where it is switched on; loaded with it alone
+    # badgeryoke.gateway.cluster.settings.ClusterSettings where it is switched on; loaded with it alone
     fleet: Any = None
 
 
@@ -104,9 +104,9 @@
     if not isinstance(section, dict):
         faults.append(f"fleet: expected a table, got {section!r}")
     elif section.get("enabled", False) is not False or (all_sections and set(section) > {"enabled"}):
-        from badgeryoke.gateway.cluster.settings import read_fleet
+        from badgeryoke.gateway.cluster.settings import read_cluster_settings
 
-        fleet, found = read_fleet(section)
+        fleet, found = read_cluster_settings(section)
         faults += found
     if faults:
         raise OperatorsError([f"{path.name}: {fault}" for fault in faults])
--- a/tests/cluster/test_golden_cluster.py
+++ b/tests/cluster/test_golden_cluster.py
@@ -43,7 +43,7 @@
 from badgeryoke.cluster.state_machine.machine import REGISTRY, GroupStateMachine, encode
 from badgeryoke.cluster.state_machine.part import FLEET, ApplyResult, Command, LeaderView
 from badgeryoke.cluster.timings import Timings
-from badgeryoke.gateway.cluster.admin_calls import known, line_of, read_call
+from badgeryoke.gateway.cluster.admin_calls import StatusRequest, format_answer, operator_commands, parse_call
 from badgeryoke.gateway.cluster.service import ClusterService
 from badgeryoke.gateway.cluster.settings import ClusterSettings
 from badgeryoke.gateway.cluster.startup import node_setup
@@ -452,9 +452,9 @@
         for one in golden("cluster/calls.json")
         if "call" in one and one["answer"].startswith("+OK")
     ]
-    read = [read_call(call.encode()) for call in taken]
-    assert {type(one) for one in read if isinstance(one, Command)} == set(known().values())
-    assert "status" in read
+    read = [parse_call(call.encode()) for call in taken]
+    assert {type(one) for one in read if isinstance(one, Command)} == set(operator_commands().values())
+    assert StatusRequest() in read
 
 
 # What goes between members
@@ -621,4 +621,4 @@
 
 @pytest.mark.parametrize("error", ERRORS, ids=lambda error: error.code)
 def test_the_line_of_an_error_is_as_ever(error: AnyError) -> None:
-    assert line_of(error).decode() == golden("cluster/exchanges.json")["lines"][error.code]
+    assert format_answer(error).decode() == golden("cluster/exchanges.json")["lines"][error.code]
--- a/tests/cluster/test_regressions.py
+++ b/tests/cluster/test_regressions.py
@@ -140,7 +140,7 @@
 from badgeryoke.cluster.state_machine.machine import GroupStateMachine, decode, encode
 from badgeryoke.cluster.state_machine.part import FLEET, ApplyResult, Command, LeaderView
 from badgeryoke.cluster.timings import Timings
-from badgeryoke.gateway.cluster.admin_calls import read_call
+from badgeryoke.gateway.cluster.admin_calls import parse_call
 from badgeryoke.gateway.cluster.storage import ClusterStorage, open_storage
 from badgeryoke.gateway.cluster.storage.format import ACKNOWLEDGED_FILE, WAL_FILE
 from badgeryoke.gateway.cluster.transport import decode_envelope
@@ -1634,14 +1634,14 @@
         "contract": "c",
         "terms": {**TERMS, "customers": [1 << 64], "windows": [{"from_ms": 1, "to_ms": 2}]},
     }
-    read = read_call(json.dumps(given).encode())
+    read = parse_call(json.dumps(given).encode())
     assert isinstance(read, InvalidCall) or (isinstance(read, Command) and encode(0.0, read))
 
 
 def test_a_window_that_recurs_without_end_is_a_bad_call() -> None:
     window = {"from_ms": 0, "to_ms": 1e-300, "every_ms": 1e-300, "until_ms": 1e10}
     given = {"do": "propose", "id": "1", "contract": "c", "terms": {**TERMS, "windows": [window]}}
-    assert isinstance(read_call(msgspec.json.encode(given)), InvalidCall)
+    assert isinstance(parse_call(msgspec.json.encode(given)), InvalidCall)
 
 
 def test_a_call_that_is_told_as_refused_is_not_taken_later() -> None:
--- a/tests/gateway/cluster/test_service.py
+++ b/tests/gateway/cluster/test_service.py
@@ -40,7 +40,7 @@
 from badgeryoke.gateway.application import GatewayApplication
 from badgeryoke.gateway.cluster import service as service_module
 from badgeryoke.gateway.cluster import startup as startup_module
-from badgeryoke.gateway.cluster.admin_calls import line_of, read_call
+from badgeryoke.gateway.cluster.admin_calls import StatusRequest, format_answer, parse_call
 from badgeryoke.gateway.cluster.service import ClusterService
 from badgeryoke.gateway.cluster.startup import node_setup
 from badgeryoke.gateway.cluster.storage import ClusterStorage, StorageWriter, open_storage
@@ -194,21 +194,21 @@
     ],
 )
 def test_a_bad_call_names_its_key(raw: bytes, whom: str, what: str) -> None:
-    read = read_call(raw)
+    read = parse_call(raw)
     assert isinstance(read, errors.InvalidCall) and read.whom == whom and what in read.what
-    said = json.loads(line_of(read).removeprefix(b"-ERR "))
+    said = json.loads(format_answer(read).removeprefix(b"-ERR "))
     assert said["error"] == "bad-call" and said["do"] == errors.InvalidCall.do and said["whom"] == whom
 
 
 def test_calls_are_known_by_several_writings() -> None:
     put = PutValue(id="1", name="n", value="v")
     for word in ("put", "Promise", "promise"):
-        assert read_call(json.dumps({"do": word, "id": "1", "name": "n", "value": "v"}).encode()) == put
+        assert parse_call(json.dumps({"do": word, "id": "1", "name": "n", "value": "v"}).encode()) == put
     for word in ("get", "PromiseRead", "promise-read", "promise_read"):
-        read = read_call(json.dumps({"do": word, "name": "n"}).encode())
-        assert not isinstance(read, str | errors.ClusterError) and read.reads and read.id
-    assert read_call(b'{"do": "Status"}') == "status"
-    assert line_of(ApplyResult({"a": 1})) == b'+OK {"a":1}\n'
+        read = parse_call(json.dumps({"do": word, "name": "n"}).encode())
+        assert not isinstance(read, StatusRequest | errors.ClusterError) and read.reads and read.id
+    assert parse_call(b'{"do": "Status"}') == StatusRequest()
+    assert format_answer(ApplyResult({"a": 1})) == b'+OK {"a":1}\n'
 
 
 # The service
