Take what runs out of the cluster service, and split the opening of a store

Change: RunningMember owns the storage writer, the transport and the node driver; the service starts, calls and ends. An attempt to open a store and the setting aside of a damaged one are two functions.

--- a/badgeryoke/gateway/cluster/__init__.py
+++ b/badgeryoke/gateway/cluster/__init__.py
@@ -4,6 +4,7 @@
 
 `settings`, `admin_calls`   the operators' section, and their FLEET calls
 `service`                   one member's start, calls, status and end
+`running_member`            its storage writer, transport and node
 `startup`                   storage and sockets as soon as they are free, groups forced by hand
 `node_driver`               events in, effects out
 `pending_calls`, `clock`    what the service waits for, and the clocks it goes by
--- a/badgeryoke/gateway/cluster/service.py
+++ b/badgeryoke/gateway/cluster/service.py
@@ -8,35 +8,25 @@
 
 import asyncio
 import logging
-import secrets
-import socket
 import time
 from collections.abc import Callable
 from dataclasses import replace
-from random import Random
-from typing import TYPE_CHECKING, Any, Protocol, runtime_checkable
+from typing import TYPE_CHECKING, Any
 
 from badgeryoke.cluster.errors import ClusterError, InvariantBroken, NoLeader, Overloaded, UnknownOutcome
 from badgeryoke.cluster.events import (
     ClusterCall,
     LeaveCluster,
-    MessageReceived,
-    NodeEvent,
-    PersistedGroup,
-    RecordsPersisted,
-    StorageFailure,
-    Tick,
 )
 from badgeryoke.cluster.invariants import Invariants, Rule
-from badgeryoke.cluster.messages import AnyMessage, MemberId
-from badgeryoke.cluster.node import ClusterNode, LeaseClient, NodeSetup
+from badgeryoke.cluster.node import ClusterNode
 from badgeryoke.cluster.reservations.lease_client import ReservationClient
 from badgeryoke.cluster.state_machine.part import ApplyResult, Command
-from badgeryoke.gateway.address import parse_address
 from badgeryoke.gateway.cluster.admin_calls import StatusRequest, format_answer, parse_call
 from badgeryoke.gateway.cluster.clock import ClusterClock, boot_time_ms
-from badgeryoke.gateway.cluster.node_driver import Node, NodeDriver
+from badgeryoke.gateway.cluster.node_driver import Node
 from badgeryoke.gateway.cluster.pending_calls import PendingCalls
+from badgeryoke.gateway.cluster.running_member import NodeFactory, RunningMember
 from badgeryoke.gateway.cluster.settings import ClusterSettings
 from badgeryoke.gateway.cluster.startup import (
     force_groups,
@@ -44,8 +34,7 @@
     node_setup,
     open_storage_when_free,
 )
-from badgeryoke.gateway.cluster.storage import ClusterStorage, StorageWriter
-from badgeryoke.gateway.cluster.transport import ClusterTransport
+from badgeryoke.gateway.cluster.storage import ClusterStorage
 
 if TYPE_CHECKING:
     from badgeryoke.gateway.cluster.connection_leases import ConnectionLeases
@@ -56,17 +45,6 @@
 LEAVE_TIMEOUT_S = 1.0  # for the node to hand its groups over at a graceful shutdown
 CLOSE_TIMEOUT_S = 0.5  # for the storage's last transaction
 CALL_TIMEOUT_FACTOR = 2.0  # of `call_ms`, within which the node completes a call
-_RANDOM_SEED_BITS = 64
-_PROCESS_TOKEN_BYTES = 4
-
-NodeFactory = Callable[[NodeSetup, dict[str, PersistedGroup], Random, float, float, Invariants], Node]
-
-
-@runtime_checkable
-class LeaseClientHost(Protocol):
-    """A node that polls lease clients; a stand-in may have none."""
-
-    holders: list[LeaseClient]
 
 
 class ClusterService:
@@ -92,12 +70,10 @@
         self.on_reservation_client: Callable[[ReservationClient, Callable[[], float]], None] | None = None
         self.failure: ClusterError | None = None  # why this member has stopped
         self.storage_failure: ClusterError | None = None
-        self.transport: ClusterTransport | None = None
+        self.running: RunningMember | None = None
         self._node_factory: NodeFactory = node_factory or ClusterNode
         self._invariants = Invariants(strict=False, noted=_log_broken_invariant)
         self._calls = PendingCalls(self.member)
-        self._writer: StorageWriter | None = None
-        self._driver: NodeDriver | None = None
         self._loop = asyncio.get_running_loop()
         self._start_task: asyncio.Task[None] | None = None
         self._leave_task: asyncio.Task[None] | None = None
@@ -106,18 +82,13 @@
     @property
     def node(self) -> Node | None:
         """The node, from when the member runs."""
-        return self._driver.node if self._driver is not None else None
+        return self.running.node if self.running is not None else None
 
     @property
     def pending_call_count(self) -> int:
         """Calls without an answer."""
         return len(self._calls)
 
-    @property
-    def transactions(self) -> int:
-        """Acknowledged by the storage since the start."""
-        return self._writer.transactions if self._writer is not None else 0
-
     # Start.
 
     def start(self) -> None:
@@ -142,7 +113,7 @@
             try:
                 await self._run(opened)
             finally:
-                if self._writer is None:  # which else closes it
+                if self.running is None:  # which else closes it
                     opened.close()
 
     def _is_closed(self) -> bool:
@@ -161,86 +132,24 @@
         if self.connection_leases is not None:
             setup = replace(setup, idle_ms=self.connection_leases.idle_ms)
         force_groups(self.settings, storage, setup.id, self.clock.unix_ms)
-        self._make_node(setup, storage)
-        self._open_connections(sockets)
-        log.info(
-            "cluster %s: member %s started, %d members, %d groups stored",
-            self.settings.name,
-            setup.id,
-            len(setup.members),
-            storage.group_count,
+        running = self.running = RunningMember(
+            setup, storage, self.clock, self._calls, self._fail, self._on_storage_failure
         )
-        self._feed(Tick())
+        node = running.make_node(self._node_factory, self._invariants)
+        self._add_lease_clients(running, node)
+        running.start(sockets)
 
-    def _make_node(self, setup: NodeSetup, storage: ClusterStorage) -> None:
-        self._writer = StorageWriter(
-            storage, self._loop.call_soon_threadsafe, self._on_persisted, self._on_storage_failure
-        )
-        self.transport = ClusterTransport(
-            self.settings.name,
-            setup.id,
-            {member.name: parse_address(member.address) for member in self.settings.members},
-            self._on_messages,
-            _log_transport_error,
-            Random(secrets.randbits(_RANDOM_SEED_BITS)),
-        )
-        node = self._node_factory(
-            setup,
-            storage.persisted_groups,
-            Random(secrets.randbits(_RANDOM_SEED_BITS)),
-            self.clock.monotonic_ms(),
-            self.clock.unix_ms(),
-            self._invariants,
-        )
-        storage.persisted_groups = {}  # the node's own from here on
-        self._driver = NodeDriver(
-            node,
-            self.member,
-            self.clock,
-            self._invariants,
-            self._writer,
-            self.transport,
-            self._calls,
-            self._fail,
-        )
+    def _add_lease_clients(self, running: RunningMember, node: Node) -> None:
         if self.connection_leases is not None:
             self.connection_leases.attach(node, self._invariants)
-            self.connection_leases.wake = self._driver.wake
-        if isinstance(node, LeaseClientHost):
-            self._add_reservation_client(node, setup, self._driver)
-
-    def _add_reservation_client(self, node: LeaseClientHost, setup: NodeSetup, driver: NodeDriver) -> None:
-        zone = next(member.hall for member in setup.members if member.name == setup.me)
-        client = self.reservation_client = ReservationClient(
-            setup.id, secrets.token_hex(_PROCESS_TOKEN_BYTES), setup.timings, zone, len(setup.members)
-        )
-        client.wake = driver.wake
-        node.holders.append(client)
-        if self.on_reservation_client is not None:
+            self.connection_leases.wake = running.wake
+        client = self.reservation_client = running.add_reservation_client()
+        if client is not None and self.on_reservation_client is not None:
             self.on_reservation_client(client, self.clock.monotonic_ms)
 
-    def _open_connections(self, sockets: list[socket.socket]) -> None:
-        assert self.transport is not None
-        self.transport.listen(sockets)
-        self.transport.dial_all()
-
-    # Events for the node.
-
-    def _feed(self, *events: NodeEvent) -> None:
-        if self._driver is not None:
-            self._driver.feed(*events)
-
-    def _on_messages(self, sender: MemberId, messages: tuple[AnyMessage, ...]) -> None:
-        self._feed(*(MessageReceived(sender, message) for message in messages))
-
-    def _on_persisted(self, persisted: list[RecordsPersisted]) -> None:
-        self._feed(*persisted)
-
     def _on_storage_failure(self, error: ClusterError) -> None:
         self.storage_failure = error
         log.error("%s", error)
-        # Not at once: the node may be in the middle of the event whose records could not be taken.
-        self._loop.call_soon(self._feed, StorageFailure(error))
 
     def _fail(self, error: ClusterError) -> None:
         """This member promises nothing more and says so; to the others it is as dead."""
@@ -248,10 +157,8 @@
             return
         self.failure = error
         log.error("this member has stopped, the cluster goes on without it: %s", error)
-        if self._driver is not None:
-            self._driver.stop()
-        if self.transport is not None:
-            self.transport.close()
+        if self.running is not None:
+            self.running.stop()
         self._calls.complete_all(UnknownOutcome(self.member, f"this member stopped meanwhile: {error.code}"))
 
     # Calls and status.
@@ -260,14 +167,15 @@
         """Bring a command to the group that holds its key; returns within twice `call_ms`."""
         if self.failure is not None:
             return self.failure
-        if self.node is None or self._closed:
+        if self.running is None or self.node is None or self._closed:
             return NoLeader(self.member, "this member is starting or ending")
         if len(self._calls) >= MAX_PENDING_CALLS:
             return Overloaded(self.member, f"{MAX_PENDING_CALLS} calls are under way at this member")
         timeout_s = self.settings.timings.call_ms * CALL_TIMEOUT_FACTOR / 1000.0
+        feed = self.running.feed
         try:
             result = await asyncio.wait_for(
-                self._calls.wait_for_result(lambda token: self._feed(ClusterCall(token, command))),
+                self._calls.wait_for_result(lambda token: feed(ClusterCall(token, command))),
                 timeout_s,
             )
         except TimeoutError:
@@ -292,14 +200,20 @@
         if self.node is not None and self.failure is None:
             status |= self.node.status()
         errors = [error for error in (self.failure, self.storage_failure) if error is not None]
-        writer, transport, reservations = self._writer, self.transport, self.reservation_client
+        running, reservations = self.running, self.reservation_client
+        storage_status: dict[str, int] = {}
+        if running is not None:
+            storage_status = {
+                "transactions": running.writer.transactions,
+                "records": running.writer.records,
+            }
         return status | {
             "fleet": self.settings.name,
             "broken": self._invariants.count,
             "errors": [str(error) for error in errors],
-            "store": {"transactions": writer.transactions, "records": writer.records} if writer else {},
-            "links": transport.status() if transport else {},
-            "contracts": reservations.status(self.clock.monotonic_ms()) if reservations else {},
+            "store": storage_status,
+            "links": running.transport.status() if running is not None else {},
+            "contracts": reservations.status(self.clock.monotonic_ms()) if reservations is not None else {},
         }
 
     # End.
@@ -311,11 +225,12 @@
         await asyncio.shield(self._leave_task)
 
     async def _leave(self) -> None:
-        if self.node is None or self.failure is not None or self._closed:
+        if self.running is None or self.node is None or self.failure is not None or self._closed:
             return
+        feed = self.running.feed
         try:
             await asyncio.wait_for(
-                self._calls.wait_for_result(lambda token: self._feed(LeaveCluster(token))),
+                self._calls.wait_for_result(lambda token: feed(LeaveCluster(token))),
                 LEAVE_TIMEOUT_S,
             )
         except TimeoutError:
@@ -326,18 +241,12 @@
         if self._closed:
             return
         self._closed = True
-        if self._driver is not None:
-            self._driver.stop()
-        if self.transport is not None and self.failure is None:
-            self.transport.close()
-        if self._writer is not None:
-            self._writer.close(CLOSE_TIMEOUT_S)
+        if self.running is not None:
+            if self.failure is None:
+                self.running.stop()
+            self.running.writer.close(CLOSE_TIMEOUT_S)
         self._calls.complete_all(UnknownOutcome(self.member, "this member ended meanwhile"))
 
 
-def _log_transport_error(error: ClusterError) -> None:
-    log.warning("peer connection: %s", error)
-
-
 def _log_broken_invariant(rule: Rule, facts: str) -> None:
     log.critical("invariant broken: %s: %s: %s", rule.name, rule.value, facts)
--- a/badgeryoke/gateway/cluster/storage/opening.py
+++ b/badgeryoke/gateway/cluster/storage/opening.py
@@ -122,21 +122,8 @@
             self._note_missing_store()
             _create_store(self.directory, StoreRow(self.cluster, self.member, self.new_incarnation()))
         with contextlib.ExitStack() as resources:
-            acknowledged = resources.enter_context(AcknowledgedCounter.open(self.directory))
-            try:
-                storage = self._read(acknowledged, resources)
-            except (
-                DamagedRecord,
-                sqlite3.DatabaseError,
-                msgspec.DecodeError,
-                UnicodeDecodeError,
-                TypeError,  # a column of another type than was written
-            ) as fault:
-                if isinstance(fault, sqlite3.OperationalError) and _is_disk_error(fault):
-                    raise
-                # Before the database is closed: closing would checkpoint the write-ahead log and remove it.
-                set_aside = _set_damaged_store_aside(self.directory)
-                self.faults.append(StorageDamaged(self.member, f"{fault}; kept in {set_aside}"))
+            storage = self._read_or_set_aside(resources)
+            if storage is None:
                 return None
             if (storage.cluster, storage.member) != (self.cluster, self.member):
                 return ClusterMismatch(
@@ -146,6 +133,24 @@
             resources.pop_all()  # the storage's own from here on
             return storage
 
+    def _read_or_set_aside(self, resources: contextlib.ExitStack) -> ClusterStorage | None:
+        acknowledged = resources.enter_context(AcknowledgedCounter.open(self.directory))
+        try:
+            return self._read(acknowledged, resources)
+        except (
+            DamagedRecord,
+            sqlite3.DatabaseError,
+            msgspec.DecodeError,
+            UnicodeDecodeError,
+            TypeError,  # a column of another type than was written
+        ) as fault:
+            if isinstance(fault, sqlite3.OperationalError) and _is_disk_error(fault):
+                raise
+            # Before the database is closed: closing would checkpoint the write-ahead log and remove it.
+            set_aside = _set_damaged_store_aside(self.directory)
+            self.faults.append(StorageDamaged(self.member, f"{fault}; kept in {set_aside}"))
+            return None
+
     def _read(self, acknowledged: AcknowledgedCounter, resources: contextlib.ExitStack) -> ClusterStorage:
         database = _connect(self.directory / DATABASE_FILE, self.fsync, resources)
         state = read_stored_state(database, acknowledged, self.directory)
--- a/tests/gateway/cluster/test_service.py
+++ b/tests/gateway/cluster/test_service.py
@@ -47,7 +47,7 @@
 from badgeryoke.gateway.config.operators_file import Operators, OperatorsError, read_operators
 from badgeryoke.gateway.config.platform_file import ConfigError
 from tests.gateway.test_service import until
-from tests.support.cluster_service import ScriptedNode, cluster_settings, running_service
+from tests.support.cluster_service import ScriptedNode, cluster_settings, feed, running_service
 from tests.support.paths import ROOT
 from tests.support.stand_ins import HOST, Backend, Discovery, config, connect, entry, gateway, roster
 from tests.support.transport import run_with_timeout
@@ -242,11 +242,11 @@
             )
             assert (
                 node.events_of_type(RecordsPersisted) == [RecordsPersisted("g", 1), RecordsPersisted("h", 2)]
-                and made.node is not None
+                and made.running is not None
             )
-            assert made.transactions == 1 and "asked: of n" in caplog.text
-            assert made.transport is not None
-            made._on_messages("b/1", (RequestVoteReply("g", 1, True, False),))
+            assert made.running.writer.transactions == 1 and "asked: of n" in caplog.text
+            assert made.running.transport.status().keys() == {"b", "c"}
+            made.running.on_messages("b/1", (RequestVoteReply("g", 1, True, False),))
             assert node.events_of_type(MessageReceived) == [
                 MessageReceived("b/1", RequestVoteReply("g", 1, True, False))
             ]
@@ -272,9 +272,9 @@
                 return []
 
             node.effects_of = effects_of
-            made._feed(Tick())
+            feed(made, Tick())
             await until(lambda: len(node.events_of_type(Tick)) == before + 3)
-            assert made._driver is not None and not made._driver.timer_armed
+            assert made.running is not None and not made.running.timer_armed
 
     run_with_timeout(test)
 
@@ -328,7 +328,7 @@
             after = await made.call(PutValue(id="1", name="n", value="v"))
             assert isinstance(after, errors.InvariantBroken) and word in after.what
             events = len(node.events)
-            made._feed(Tick())
+            feed(made, Tick())
             assert len(node.events) == events
             said = json.loads((await made.answer(b'{"do": "status"}')).removeprefix(b"+OK "))
             assert "invariant-broken" in said["errors"][0]
@@ -346,10 +346,10 @@
         async with running_service(tmp_path) as (made, node):
             monkeypatch.setattr(ClusterStorage, "write", full)
             node.effects_of = lambda event: [PersistRecords("g", 1, (HardState(1, ""),))]
-            made._feed(Tick())
-            made._feed(Tick())
+            feed(made, Tick())
+            feed(made, Tick())
             await until(lambda: node.events_of_type(StorageFailure))
-            made._feed(Tick())
+            feed(made, Tick())
             assert (
                 not node.events_of_type(RecordsPersisted)
                 and len(node.events_of_type(StorageFailure)) == 1
--- a/tests/support/cluster_service.py
+++ b/tests/support/cluster_service.py
@@ -93,3 +93,9 @@
         yield service, node
     finally:
         service.close()
+
+
+def feed(service: ClusterService, *events: NodeEvent) -> None:
+    """Hand events to the node of a member that runs."""
+    assert service.running is not None
+    service.running.feed(*events)
