--- a/tests/gateway/cluster/test_connection_leases.py
+++ b/tests/gateway/cluster/test_connection_leases.py
@@ -1,5 +1,4 @@
-"""Server links under leases, on real sockets: the group that grants stands in the test, the pools are the
-gateway's."""
+"""Upstream connections under leases, on real sockets; the group that grants the leases stands in the test."""
 
 from __future__ import annotations
 
@@ -58,23 +57,24 @@
 )
 
 TIMINGS = Timings(lease_ms=120.0, heartbeat_ms=10.0, election_ms=50.0)  # 600 ms for connections
-IDLE_MS, MOST = 200.0, 4
-PATIENT_MS, HASTY_MS = 20_000.0, 100.0  # for a connection: where one has to come, and where none may come
+IDLE_MS, CONNECTION_LIMIT = 200.0, 4
+LONG_CONNECT_TIMEOUT_MS = 20_000.0  # where a connection has to come
+SHORT_CONNECT_TIMEOUT_MS = 100.0  # where none may come
 
 
-class Gate:
+class LeasedGateway:
     """One gateway's pools before one server; in the gateway's place for a roll."""
 
-    def __init__(self, name: str, port: int, group: Group, diameter: bool = False) -> None:
+    def __init__(self, name: str, port: int, group: LimitGroup, diameter: bool = False) -> None:
         self.name, self.group = name, group
         self.loop, self.rules = ActorScheduler(asyncio.get_running_loop()), Invariants()
-        self.did: list[str] = []
+        self.actions: list[str] = []
         self.drained, self.unanswered = False, 0
-        fleet = ClusterSettings(servers=Servers(connections=MOST))
-        self.pools = ConnectionLeases(fleet, self.loop, boot_time_ms, IDLE_MS, self)
+        fleet = ClusterSettings(servers=Servers(connections=CONNECTION_LIMIT))
+        self.leases = ConnectionLeases(fleet, self.loop, boot_time_ms, IDLE_MS, self)
         setup = NodeSetup("f", name, "1", (Member(name, "h"),), timings=TIMINGS)
         self.node = ClusterNode(setup, {}, Random(1), 0.0, 0.0, self.rules)
-        self.lease = lease = self.pools.create_lease("s")
+        self.lease = lease = self.leases.create_lease("s")
         assert lease is not None
         self.link: Any = (
             DiameterUpstream(
@@ -83,7 +83,7 @@
                 boot_time_ms,
                 me=PeerIdentity("g", "r", HOST, 1),
                 services={},
-                connect_ms=PATIENT_MS,
+                connect_ms=LONG_CONNECT_TIMEOUT_MS,
                 idle_ms=30_000.0,
                 watchdog_s=30.0,
                 lease=lease,
@@ -94,7 +94,7 @@
                 self.loop,
                 boot_time_ms,
                 report_names=(),
-                connect_ms=PATIENT_MS,
+                connect_ms=LONG_CONNECT_TIMEOUT_MS,
                 idle_ms=30_000.0,
                 most=16,
                 lease=lease,
@@ -103,25 +103,25 @@
         lease.upstream = self.link
         self.ends: list[AttemptEnd] = []
         self.asking = 0
-        group.gates.append(self)
+        group.gateways.append(self)
 
     def pause(self) -> str:
-        self.did.append("pause")
+        self.actions.append("pause")
         return ""
 
     def resume(self) -> str:
-        self.did.append("resume")
+        self.actions.append("resume")
         return ""
 
     def end(self) -> None:
-        self.did.append("end")
+        self.actions.append("end")
 
     @property
     def open(self) -> int:
-        keeper = self.pools.lease_holder
-        return keeper.pools["s"].open if keeper is not None and "s" in keeper.pools else 0
+        holder = self.leases.lease_holder
+        return holder.pools["s"].open if holder is not None and "s" in holder.pools else 0
 
-    def ask(self, deadline_ms: float = 2 * PATIENT_MS) -> Attempt:
+    def ask(self, deadline_ms: float = 2 * LONG_CONNECT_TIMEOUT_MS) -> Attempt:
         """One attempt."""
         now = boot_time_ms()
         made = Attempt(
@@ -135,9 +135,9 @@
         self.link.start(made)
         return made
 
-    def haste(self) -> None:
+    def use_short_connect_timeout(self) -> None:
         """From here on attempts without a connection fail soon."""
-        self.link._connect_ms = HASTY_MS
+        self.link._connect_ms = SHORT_CONNECT_TIMEOUT_MS
 
     def ended(self, execution: Attempt, end: AttemptEnd) -> None:
         self.ends.append(end)
@@ -145,26 +145,26 @@
             self.loop.call_later(0.002, self.ask)
 
 
-class Group:
-    """Grants, in the place of the group that holds the server's limit; who is in `cut` gets no answer."""
+class LimitGroup:
+    """Grants, in the place of the group that holds the server's limit; who is in `unreachable` gets no answer."""
 
     def __init__(self) -> None:
-        self.gates: list[Gate] = []
-        self.cut: set[str] = set()
+        self.gateways: list[LeasedGateway] = []
+        self.unreachable: set[str] = set()
         self.part = ConnectionLimits(Invariants(), TIMINGS)
-        self.part.apply(0.0, SetConnectionLimit(id="l", server="s", most=MOST, idle_ms=IDLE_MS))
+        self.part.apply(0.0, SetConnectionLimit(id="l", server="s", most=CONNECTION_LIMIT, idle_ms=IDLE_MS))
 
     async def run(self) -> None:
         while True:
             now = boot_time_ms()
-            for gate in self.gates:
-                if gate.pools.lease_holder is not None:
-                    for command in gate.pools.poll(now, now):
-                        gate.pools.answered(
+            for leased_gateway in self.gateways:
+                if leased_gateway.leases.lease_holder is not None:
+                    for command in leased_gateway.leases.poll(now, now):
+                        leased_gateway.leases.answered(
                             boot_time_ms(),
                             command,
                             NoLeader("g0", "cut off")
-                            if gate.name in self.cut
+                            if leased_gateway.name in self.unreachable
                             else self.part.apply(now, command),
                         )
             for command in self.part.leader_tasks(
@@ -174,14 +174,14 @@
             await asyncio.sleep(0.005)
 
 
-class Counted(Backend):
+class CountingServer(Backend):
     """Answers after a while, and counts what is open, by gateway."""
 
-    def __init__(self, deaf: bool = False) -> None:
+    def __init__(self, ignores_close: bool = False) -> None:
         super().__init__()
         self.most = 0
         self.by: dict[asyncio.StreamReader, str] = {}
-        self.deaf = deaf  # it does not heed the other side's end
+        self.ignores_close = ignores_close  # it does not heed the other side's end
         self.release = asyncio.Event()
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -190,10 +190,10 @@
         try:
             while head := await reader.read(4096):
                 self.by[reader] = chr(int(head.split(b"\r\n")[4], 16))
-                if not self.deaf:
+                if not self.ignores_close:
                     await asyncio.sleep(0.004)
                     writer.write(b"*1\r\n$2\r\nok\r\n")
-            if self.deaf:
+            if self.ignores_close:
                 await self.release.wait()
         finally:
             del self.by[reader]
@@ -203,58 +203,64 @@
 
 
 @contextlib.asynccontextmanager
-async def gates(server: Any, *names: str, diameter: bool = False) -> AsyncIterator[Any]:
-    group = Group()
-    made = [Gate(name, server.port, group, diameter) for name in names]
-    for gate in made:
-        gate.pools.attach(gate.node, gate.rules)
+async def leased_gateways(server: Any, *names: str, diameter: bool = False) -> AsyncIterator[Any]:
+    group = LimitGroup()
+    made = [LeasedGateway(name, server.port, group, diameter) for name in names]
+    for leased_gateway in made:
+        leased_gateway.leases.attach(leased_gateway.node, leased_gateway.rules)
     task = asyncio.ensure_future(group.run())
     try:
         yield group, *made
     finally:
         task.cancel()
-        for gate in made:
-            gate.asking = 0
-            gate.pools.close()
+        for leased_gateway in made:
+            leased_gateway.asking = 0
+            leased_gateway.leases.close()
 
 
-def busy(gate: Gate, count: int) -> None:
-    gate.asking = count
+def keep_busy(leased_gateway: LeasedGateway, count: int) -> None:
+    leased_gateway.asking = count
     for _ in range(count):
-        gate.ask()
+        leased_gateway.ask()
 
 
-async def soon(true: Callable[[], Any]) -> None:
+async def wait_until(true: Callable[[], Any]) -> None:
     while not true():
         await asyncio.sleep(0.002)
 
 
-def test_two_gateways_never_have_more_open_than_the_server_holds() -> None:
+def test_two_gateways_together_never_exceed_the_connection_limit() -> None:
     async def test() -> None:
-        async with Counted() as server, gates(server, "a", "b") as (group, a, b):
-            a.haste()
-            busy(a, 6)
-            await soon(lambda: server.held("a") == MOST)  # all of it while nobody else asks
-            busy(b, 6)
-            await soon(lambda: server.held("a") == server.held("b") == 2)  # half of it has moved
-            group.cut.add("a")
-            await soon(lambda: a.open == 0)  # its lease has ended: it closed by itself ...
+        async with CountingServer() as server, leased_gateways(server, "a", "b") as (group, a, b):
+            a.use_short_connect_timeout()
+            keep_busy(a, 6)
+            await wait_until(lambda: server.held("a") == CONNECTION_LIMIT)  # all of it while nobody else asks
+            keep_busy(b, 6)
+            await wait_until(lambda: server.held("a") == server.held("b") == 2)  # half of it has moved
+            group.unreachable.add("a")
+            await wait_until(lambda: a.open == 0)  # its lease has ended: it closed by itself ...
             assert server.held("a") == 0
             lost = len(a.ends)
-            await soon(lambda: server.held("b") == MOST)  # ... and later, the other has its part
-            await soon(lambda: len(a.ends) > lost + 6)  # without a lease each attempt fails in its time
+            await wait_until(
+                lambda: server.held("b") == CONNECTION_LIMIT
+            )  # ... and later, the other has its part
+            await wait_until(lambda: len(a.ends) > lost + 6)  # without a lease each attempt fails in its time
             assert server.held("a") == 0
-            group.cut.clear()
-            await soon(lambda: server.held("a") == server.held("b") == 2)
-            assert server.most == MOST and not a.rules.count and not b.rules.count
+            group.unreachable.clear()
+            await wait_until(lambda: server.held("a") == server.held("b") == 2)
+            assert server.most == CONNECTION_LIMIT and not a.rules.count and not b.rules.count
 
     play(test)
 
 
-def test_without_a_lease_nothing_is_opened_and_each_query_is_answered_by_its_deadline(tmp_path: Path) -> None:
+def test_without_a_lease_no_connection_is_opened_and_each_request_is_answered_by_its_deadline(
+    tmp_path: Path,
+) -> None:
     async def test() -> None:
         async with Backend() as node, Discovery(entry("s", node.port)) as list_:
-            operators = Operators(fleet=cluster_settings(tmp_path, servers=Servers(connections=MOST)))
+            operators = Operators(
+                fleet=cluster_settings(tmp_path, servers=Servers(connections=CONNECTION_LIMIT))
+            )
             made = replace(
                 config(list_.port, None, roster(entry("s", node.port))), name="a", operators=operators
             )
@@ -268,94 +274,102 @@
     play(test)
 
 
-@pytest.mark.parametrize("deaf", [False, True])
-def test_an_abandoned_connection_counts_until_the_server_has_let_go(deaf: bool) -> None:
+@pytest.mark.parametrize(
+    "ignores_close",
+    [False, True],
+    ids=["server closes at once", "server ignores the close"],
+)
+def test_an_abandoned_connection_counts_until_the_server_has_closed_it(ignores_close: bool) -> None:
     async def test() -> None:
-        async with Counted(deaf) as server, gates(server, "a") as (_, a):
-            server.deaf = True  # no answer
+        async with CountingServer(ignores_close) as server, leased_gateways(server, "a") as (_, a):
+            server.ignores_close = True  # no answer
             attempt = a.ask()
-            await soon(lambda: server.held("a"))
-            server.deaf = deaf
+            await wait_until(lambda: server.held("a"))
+            server.ignores_close = ignores_close
             begun = boot_time_ms()
             attempt.abandon(Verdict.CANCELLED)
-            await soon(lambda: len(a.link._all) == 0)
-            if deaf:
+            await wait_until(lambda: len(a.link._all) == 0)
+            if ignores_close:
                 assert (a.open, server.held("a")) == (1, 1)
-            await soon(lambda: a.open == 0)
-            assert not deaf or boot_time_ms() - begun >= IDLE_MS
-            assert len(server.by) == int(deaf)
+            await wait_until(lambda: a.open == 0)
+            assert not ignores_close or boot_time_ms() - begun >= IDLE_MS
+            assert len(server.by) == int(ignores_close)
             server.release.set()
 
     play(test)
 
 
-def test_a_connection_that_never_came_up_counts_no_longer_than_its_attempt() -> None:
+def test_a_connection_that_is_never_established_counts_no_longer_than_its_attempt() -> None:
     async def test() -> None:
         with socket.socket() as full:  # nobody takes what is in its queue, and no more gets in
             full.bind((HOST, 0))
             full.listen(0)
             port = full.getsockname()[1]
             with socket.create_connection((HOST, port)):
-                async with gates(SimpleNamespace(port=port), "a") as (_, a):
-                    a.pools.idle_ms = 1e7
+                async with leased_gateways(SimpleNamespace(port=port), "a") as (_, a):
+                    a.leases.idle_ms = 1e7
                     attempt = a.ask()
-                    await soon(
+                    await wait_until(
                         lambda: a.link._waiting
                     )  # for the lease; what is dialled under it is given up soon
-                    a.haste()
-                    await soon(lambda: a.open == 1)
+                    a.use_short_connect_timeout()
+                    await wait_until(lambda: a.open == 1)
                     attempt.abandon(Verdict.CANCELLED)
-                    await soon(lambda: a.ends and a.open == 0)
+                    await wait_until(lambda: a.ends and a.open == 0)
 
     play(test)
 
 
-def test_a_diameter_server_is_reached_under_a_lease_alone() -> None:
+def test_a_diameter_server_is_dialled_only_under_a_lease() -> None:
     async def test() -> None:
-        async with DiameterServer() as server, gates(server, "a", diameter=True) as (group, a):
+        async with DiameterServer() as server, leased_gateways(server, "a", diameter=True) as (group, a):
             a.ask()
-            await soon(lambda: a.ends)
+            await wait_until(lambda: a.ends)
             assert (a.ends[0].verdict.name, a.open, server.connections) == ("OK", 1, 1)
-            group.cut.add("a")
-            await soon(lambda: a.open == 0)
-            a.haste()
+            group.unreachable.add("a")
+            await wait_until(lambda: a.open == 0)
+            a.use_short_connect_timeout()
             a.ask()
-            await soon(lambda: len(a.ends) == 2)
+            await wait_until(lambda: len(a.ends) == 2)
             assert a.ends[1].verdict.name == "CONNECT_FAILED" and server.connections == 1
 
     play(test)
 
 
-@pytest.mark.parametrize("diameter", [False, True])
-def test_a_process_that_was_frozen_past_its_lease_writes_nothing_on_what_is_open(diameter: bool) -> None:
+@pytest.mark.parametrize(
+    "diameter",
+    [False, True],
+    ids=["resp", "diameter"],
+)
+def test_a_process_suspended_past_its_lease_sends_nothing_on_open_connections(diameter: bool) -> None:
     async def test() -> None:
         async with (
-            DiameterServer() if diameter else Counted() as server,
-            gates(server, "a", diameter=diameter) as (_, a),
+            DiameterServer() if diameter else CountingServer() as server,
+            leased_gateways(server, "a", diameter=diameter) as (_, a),
         ):
             a.ask()
-            await soon(lambda: a.ends)
-            a.pools.monotonic_ms = lambda: boot_time_ms() + 1e5
-            a.haste()
+            await wait_until(lambda: a.ends)
+            a.leases.monotonic_ms = lambda: boot_time_ms() + 1e5
+            a.use_short_connect_timeout()
             a.ask()  # before anything else could look
-            await soon(lambda: len(a.ends) == 2)
+            await wait_until(lambda: len(a.ends) == 2)
             assert a.ends[1].verdict is Verdict.CONNECT_FAILED
 
     play(test)
 
 
-def test_a_roll_pauses_gives_back_resumes_and_ends_the_gateway() -> None:
+def test_a_rolling_restart_pauses_drains_resumes_and_ends_the_gateway() -> None:
     async def test() -> None:
-        async with Counted() as server, gates(server, "a") as (_, a):
+        async with CountingServer() as server, leased_gateways(server, "a") as (_, a):
             a.ask()
-            await soon(lambda: a.ends)
-            rolled = a.pools.restart_agent
+            await wait_until(lambda: a.ends)
+            agent = a.leases.restart_agent
 
-            def stands(stand: str, **more: Any) -> None:
+            def report_phase(stand: str, **more: Any) -> None:
                 (read,) = [
-                    one for one in rolled.poll(boot_time_ms() + 1e6, 0.0) if isinstance(one, ReadDesiredState)
+                    one for one in agent.poll(boot_time_ms() + 1e6, 0.0) if isinstance(one, ReadDesiredState)
                 ]
-                rolled.answered(
+                agent.answered(
                     boot_time_ms(),
                     read,
                     ApplyResult(
@@ -364,7 +378,7 @@
                             "stand": stand,
                             "round": 1,
                             "told": "",
-                            "process": rolled.process,
+                            "process": agent.process,
                             "read_ms": 0.0,
                             "grow": 1.0,
                             **more,
@@ -373,35 +387,39 @@
                 )
 
             assert a.open == 1  # idle, and kept
-            stands("GRANTING", told="ready")
-            await soon(lambda: a.open == 0 and a.pools.is_empty)
-            assert a.node.lead_nothing and not a.did
-            stands("PAUSING", told="paused")
-            await soon(lambda: a.did == ["pause"])
+            report_phase("GRANTING", told="ready")
+            await wait_until(lambda: a.open == 0 and a.leases.is_empty)
+            assert a.node.lead_nothing and not a.actions
+            report_phase("PAUSING", told="paused")
+            await wait_until(lambda: a.actions == ["pause"])
             a.drained = True
-            a.link.retune((), PATIENT_MS, 30_000.0, 1.0)
+            a.link.retune((), LONG_CONNECT_TIMEOUT_MS, 30_000.0, 1.0)
             a.ask()  # a client that did not hear: it is served still, and the connection given back
-            await soon(lambda: len(a.ends) == 2 and a.pools.is_empty)
+            await wait_until(lambda: len(a.ends) == 2 and a.leases.is_empty)
             assert a.ends[1].verdict.name == "OK"
-            stands("UNDOING", told="resumed")
-            await soon(lambda: a.did == ["pause", "resume"] and not a.node.lead_nothing)
-            stands("ACTING", told="x")
-            await soon(lambda: a.did == ["pause", "resume", "pause", "end"])
+            report_phase("UNDOING", told="resumed")
+            await wait_until(lambda: a.actions == ["pause", "resume"] and not a.node.lead_nothing)
+            report_phase("ACTING", told="x")
+            await wait_until(lambda: a.actions == ["pause", "resume", "pause", "end"])
 
     play(test)
 
 
-def test_a_limit_is_forgotten_when_none_lists_or_uses_its_server_and_stated_again_by_who_does() -> None:
+def test_an_unlisted_unused_limit_is_removed_and_set_again_on_demand() -> None:
     async def test() -> None:
-        group = Group()
-        gate = Gate("A", 1, group)
-        gate.pools.attach(gate.node, gate.rules)
-        gate.pools.close()  # no look but this test's
-        gate.node.states["g0"] = SimpleNamespace(parts={"connections": group.part}, index=1)  # type: ignore[assignment]
-        gate.node.states[FLEET] = GroupStateMachine(FLEET, TIMINGS, gate.rules)  # it holds no limits
-        gate.node.replicas["g0"] = gate.node.replicas[FLEET] = SimpleNamespace(leading=True)  # type: ignore[assignment]
+        group = LimitGroup()
+        leased_gateway = LeasedGateway("A", 1, group)
+        leased_gateway.leases.attach(leased_gateway.node, leased_gateway.rules)
+        leased_gateway.leases.close()  # no checks but this test's
+        leased_gateway.node.states["g0"] = SimpleNamespace(parts={"connections": group.part}, index=1)  # type: ignore[assignment]
+        no_limits = GroupStateMachine(FLEET, TIMINGS, leased_gateway.rules)
+        leased_gateway.node.states[FLEET] = no_limits
+        leader: Any = SimpleNamespace(leading=True)
+        leased_gateway.node.replicas["g0"] = leased_gateway.node.replicas[FLEET] = leader
         for server in ("gone", "used"):
-            group.part.apply(0.0, SetConnectionLimit(id=server, server=server, most=MOST, idle_ms=IDLE_MS))
+            group.part.apply(
+                0.0, SetConnectionLimit(id=server, server=server, most=CONNECTION_LIMIT, idle_ms=IDLE_MS)
+            )
         other = process("B/1", "b", "1")
         group.part.apply(
             0.0,
@@ -410,21 +428,21 @@
             ),
         )
         now = 0.0
-        gate.pools.update_servers(["s"])  # which nobody uses
+        leased_gateway.leases.update_servers(["s"])  # which nobody uses
         while now <= REMOVAL_DELAY_MS:
             assert "gone" in group.part.servers
-            for command in gate.pools.poll(now, now):
+            for command in leased_gateway.leases.poll(now, now):
                 group.part.apply(now, command)
             now += REMOVAL_CHECK_INTERVAL_MS
         assert list(group.part.servers) == ["s", "used"]
         del group.part.servers["s"]  # by a leader whose list did not name it
-        gate.pools._leases["s"][0].upstream = SimpleNamespace(
+        leased_gateway.leases._leases["s"][0].upstream = SimpleNamespace(
             connections_needed=1, capacity_available=lambda: None
         )
         while "s" not in group.part.servers:
             now += 100.0
             assert now < 2 * REMOVAL_DELAY_MS
-            for command in gate.pools.poll(now, now):
-                gate.pools.answered(now, command, group.part.apply(now, command))
+            for command in leased_gateway.leases.poll(now, now):
+                leased_gateway.leases.answered(now, command, group.part.apply(now, command))
 
     play(test)
--- a/tests/gateway/cluster/test_service.py
+++ b/tests/gateway/cluster/test_service.py
@@ -1,4 +1,4 @@
-"""The fleet's section, its calls, and the shell around the node: a stand-in takes the node's place."""
+"""The cluster's settings, its admin calls, and the service around the node, for which a scripted one stands in."""
 
 from __future__ import annotations
 
@@ -66,10 +66,9 @@
 
 
 # The operators' file
-# --------------------------------------------------------------------------------------------------
 
 
-def test_a_good_section_and_a_setup_of_it(tmp_path: Path) -> None:
+def test_a_valid_section_becomes_a_node_setup(tmp_path: Path) -> None:
     fleet = read_operators(
         written(
             tmp_path,
@@ -118,8 +117,34 @@
         (f'{GOOD}\nforced = {{ h1 = ["a/1"] }}', MEMBERS, "fleet.forced.h1: expected a group"),
         (f'{GOOD}\nforced = {{ g1 = ["a"] }}', MEMBERS, "fleet.forced.g1: expected the members given up"),
     ],
+    ids=[
+        "no name",
+        "no folder",
+        "even number of replicas",
+        "more replicas than members",
+        "no group",
+        "negative capacity",
+        "capacity of another type",
+        "unknown key",
+        "me is no member",
+        "duplicate name",
+        "duplicate address",
+        "address without an IP",
+        "name with a slash",
+        "member without a name",
+        "unknown key of a member",
+        "members not a table",
+        "lease shorter than two elections",
+        "unknown timing",
+        "limit of 0",
+        "negative default limit",
+        "forced: unknown group",
+        "forced: no incarnation",
+    ],
 )
-def test_every_fault_is_named_by_its_key(head: str, members: str, key: str, tmp_path: Path) -> None:
+def test_each_invalid_setting_is_reported_by_its_key(
+    head: str, members: str, key: str, tmp_path: Path
+) -> None:
     with pytest.raises(OperatorsError, match=re.escape(key)):
         read_operators(written(tmp_path, head, members))
     off = written(tmp_path, head.replace("enabled = true", "enabled = false"), members)
@@ -128,7 +153,7 @@
     assert read_operators(off).fleet is None
 
 
-def test_a_member_that_is_not_named_does_not_start(tmp_path: Path) -> None:
+def test_a_gateway_that_is_no_member_does_not_start(tmp_path: Path) -> None:
     fleet = read_operators(written(tmp_path, GOOD)).fleet
 
     async def test() -> None:
@@ -139,7 +164,7 @@
     asyncio.run(test())
 
 
-def test_a_gateway_without_a_fleet_loads_nothing_of_it() -> None:
+def test_cluster_modules_are_not_loaded_where_the_cluster_is_off() -> None:
     script = (
         "import sys, pathlib, badgeryoke.__main__, badgeryoke.gateway.admin.server; "
         "from badgeryoke.gateway.config.operators_file import read_operators; "
@@ -152,7 +177,7 @@
     assert said.stdout.strip() == "None []"
 
 
-def test_the_page_of_errors_is_the_table_in_the_code() -> None:
+def test_the_documented_errors_match_the_error_types() -> None:
     """docs/operators/errors.md has one row for each, in order, with the words of the code."""
     rows = re.findall(
         r"^\| `([a-z-]+)` \| (.*?) \| (.*?) \| (yes|no) \|$",
@@ -169,8 +194,7 @@
     )
 
 
-# Calls
-# ----------------------------------------------------------------------------------------------------------------
+# Admin calls
 
 
 @pytest.mark.parametrize(
@@ -192,15 +216,32 @@
         (b'{"do": "put", "id": "1", "nam": "n"}', "nam", "did you mean name?"),
         (b'{"do": "put", "id": "1", "name": "", "value": ""}', "name", "expected 1 to 128"),
     ],
+    ids=[
+        "empty line",
+        "truncated",
+        "not an object",
+        "not UTF-8",
+        "nested too deep",
+        "no name",
+        "name not a text",
+        "misspelt name",
+        "not for operators",
+        "no id",
+        "empty id",
+        "id not a text",
+        "missing field",
+        "misspelt field",
+        "field out of bounds",
+    ],
 )
-def test_a_bad_call_names_its_key(raw: bytes, whom: str, what: str) -> None:
+def test_an_invalid_call_is_answered_with_the_key_at_fault(raw: bytes, whom: str, what: str) -> None:
     read = parse_call(raw)
     assert isinstance(read, errors.InvalidCall) and read.whom == whom and what in read.what
     said = json.loads(format_answer(read).removeprefix(b"-ERR "))
     assert said["error"] == "bad-call" and said["do"] == errors.InvalidCall.do and said["whom"] == whom
 
 
-def test_calls_are_known_by_several_writings() -> None:
+def test_calls_are_accepted_by_alias_and_in_any_case() -> None:
     put = PutValue(id="1", name="n", value="v")
     for word in ("put", "Promise", "promise"):
         assert parse_call(json.dumps({"do": word, "id": "1", "name": "n", "value": "v"}).encode()) == put
@@ -212,12 +253,13 @@
 
 
 # The service
-# ----------------------------------------------------------------------------------------------------------
 
 
-def test_events_go_in_and_effects_are_carried_out(tmp_path: Path, caplog: pytest.LogCaptureFixture) -> None:
+def test_effects_are_carried_out_and_their_results_fed_back(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture
+) -> None:
     async def test() -> None:
-        async with running_service(tmp_path) as (made, node):
+        async with running_service(tmp_path) as (service, node):
             assert isinstance(node.events[0], Tick) and node.setup.id == f"a/{node.setup.incarnation}"
 
             def effects_of(event: Any) -> list[Any]:
@@ -238,19 +280,21 @@
 
             node.effects_of = effects_of
             assert (
-                await made.answer(b'{"do": "put", "id": "1", "name": "n", "value": "v"}') == b'+OK "kept"\n'
-            )
-            assert (
-                node.events_of_type(RecordsPersisted) == [RecordsPersisted("g", 1), RecordsPersisted("h", 2)]
-                and made.running is not None
+                await service.answer(b'{"do": "put", "id": "1", "name": "n", "value": "v"}')
+                == b'+OK "kept"\n'
             )
-            assert made.running.writer.transactions == 1 and "asked: of n" in caplog.text
-            assert made.running.transport.status().keys() == {"b", "c"}
-            made.running.on_messages("b/1", (RequestVoteReply("g", 1, True, False),))
+            assert node.events_of_type(RecordsPersisted) == [
+                RecordsPersisted("g", 1),
+                RecordsPersisted("h", 2),
+            ]
+            assert service.running is not None
+            assert service.running.writer.transactions == 1 and "asked: of n" in caplog.text
+            assert service.running.transport.status().keys() == {"b", "c"}
+            service.running.on_messages("b/1", (RequestVoteReply("g", 1, True, False),))
             assert node.events_of_type(MessageReceived) == [
                 MessageReceived("b/1", RequestVoteReply("g", 1, True, False))
             ]
-            status = json.loads((await made.answer(b'{"do": "status"}')).removeprefix(b"+OK "))
+            status = json.loads((await service.answer(b'{"do": "status"}')).removeprefix(b"+OK "))
             assert (
                 status["groups"]["g0"]["state"] == "leader" and status["broken"] == 0 and not status["errors"]
             )
@@ -258,49 +302,51 @@
     run_with_timeout(test)
 
 
-def test_a_tick_comes_when_it_is_due(tmp_path: Path) -> None:
+def test_a_tick_is_delivered_when_the_node_is_due(tmp_path: Path) -> None:
     async def test() -> None:
-        async with running_service(tmp_path) as (made, node):
+        async with running_service(tmp_path) as (service, node):
             before = len(node.events_of_type(Tick))
 
             def effects_of(event: Any) -> list[Any]:
                 node.due = (
-                    made.clock.monotonic_ms() + 5.0
+                    service.clock.monotonic_ms() + 5.0
                     if len(node.events_of_type(Tick)) < before + 3
                     else math.inf
                 )
                 return []
 
             node.effects_of = effects_of
-            feed(made, Tick())
+            feed(service, Tick())
             await until(lambda: len(node.events_of_type(Tick)) == before + 3)
-            assert made.running is not None and not made.running.timer_armed
+            assert service.running is not None and not service.running.timer_armed
 
     run_with_timeout(test)
 
 
-def test_no_answer_is_an_unknown_outcome_and_leaving_is_bounded(
+def test_a_call_without_an_answer_times_out_and_leaving_is_bounded(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     monkeypatch.setattr(service_module, "LEAVE_TIMEOUT_S", 0.02)
 
     async def test() -> None:
-        async with running_service(tmp_path) as (made, node):
-            assert isinstance(await made.call(PutValue(id="1", name="n", value="v")), errors.UnknownOutcome)
-            assert not made.pending_call_count
-            await made.leave()
-            await made.leave()
+        async with running_service(tmp_path) as (service, node):
+            assert isinstance(
+                await service.call(PutValue(id="1", name="n", value="v")), errors.UnknownOutcome
+            )
+            assert not service.pending_call_count
+            await service.leave()
+            await service.leave()
             assert len(node.events_of_type(LeaveCluster)) == 1
-            asked = asyncio.ensure_future(made.call(PutValue(id="2", name="n", value="v")))
+            asked = asyncio.ensure_future(service.call(PutValue(id="2", name="n", value="v")))
             await until(lambda: len(node.events_of_type(ClusterCall)) == 2)
-            made.close()
+            service.close()
             assert isinstance(await asked, errors.UnknownOutcome)
-            assert isinstance(await made.call(PutValue(id="2", name="n", value="v")), errors.NoLeader)
+            assert isinstance(await service.call(PutValue(id="2", name="n", value="v")), errors.NoLeader)
 
     run_with_timeout(test)
 
 
-def broken(node: ScriptedNode) -> Callable[[Any], list[Any]]:
+def breaking_an_invariant(node: ScriptedNode) -> Callable[[Any], list[Any]]:
     def effects_of(event: Any) -> list[Any]:
         node.invariants.check(Rule.VOTE_ONCE, False, lambda: "two in term 3")
         return [OperationCompleted("a.1", ApplyResult("a lie"))]
@@ -308,59 +354,63 @@
     return effects_of
 
 
-def failing(node: ScriptedNode) -> Callable[[Any], list[Any]]:
+def raising_an_exception(node: ScriptedNode) -> Callable[[Any], list[Any]]:
     def effects_of(event: Any) -> list[Any]:
         raise ValueError("no such group")
 
     return effects_of
 
 
-@pytest.mark.parametrize(("way", "word"), [(broken, "VOTE_ONCE"), (failing, "the log has the cause")])
-def test_a_rule_that_does_not_hold_ends_the_part_and_nothing_else(
+@pytest.mark.parametrize(
+    ("way", "word"),
+    [(breaking_an_invariant, "VOTE_ONCE"), (raising_an_exception, "the log has the cause")],
+    ids=["invariant", "exception"],
+)
+def test_a_broken_invariant_or_an_exception_stops_the_member_alone(
     way: Callable[[ScriptedNode], Callable[[Any], list[Any]]], word: str, tmp_path: Path
 ) -> None:
     """What it wanted done behind the broken rule is not done; calls under way are told that nobody knows."""
 
     async def test() -> None:
-        async with running_service(tmp_path) as (made, node):
+        async with running_service(tmp_path) as (service, node):
             node.effects_of = way(node)
-            assert isinstance(await made.call(PutValue(id="1", name="n", value="v")), errors.UnknownOutcome)
-            after = await made.call(PutValue(id="1", name="n", value="v"))
+            assert isinstance(
+                await service.call(PutValue(id="1", name="n", value="v")), errors.UnknownOutcome
+            )
+            after = await service.call(PutValue(id="1", name="n", value="v"))
             assert isinstance(after, errors.InvariantBroken) and word in after.what
             events = len(node.events)
-            feed(made, Tick())
+            feed(service, Tick())
             assert len(node.events) == events
-            said = json.loads((await made.answer(b'{"do": "status"}')).removeprefix(b"+OK "))
+            said = json.loads((await service.answer(b'{"do": "status"}')).removeprefix(b"+OK "))
             assert "invariant-broken" in said["errors"][0]
 
     run_with_timeout(test)
 
 
-def test_a_store_that_breaks_is_told_to_the_node_once(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
-) -> None:
+def test_a_storage_failure_is_fed_to_the_node_once(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     def full(*_: Any) -> None:
         raise OSError(28, "No space left on device")
 
     async def test() -> None:
-        async with running_service(tmp_path) as (made, node):
+        async with running_service(tmp_path) as (service, node):
             monkeypatch.setattr(ClusterStorage, "write", full)
             node.effects_of = lambda event: [PersistRecords("g", 1, (HardState(1, ""),))]
-            feed(made, Tick())
-            feed(made, Tick())
+            feed(service, Tick())
+            feed(service, Tick())
             await until(lambda: node.events_of_type(StorageFailure))
-            feed(made, Tick())
+            feed(service, Tick())
             assert (
                 not node.events_of_type(RecordsPersisted)
                 and len(node.events_of_type(StorageFailure)) == 1
-                and made.failure is None
+                and service.failure is None
             )
-            assert "store-failed" in made.status()["errors"][0]
+            assert "store-failed" in service.status()["errors"][0]
 
     run_with_timeout(test)
 
 
-def test_the_folder_of_a_process_before_is_waited_for(
+def test_opening_waits_for_the_process_that_holds_the_directory(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     monkeypatch.setattr(startup_module, "RETRY_INTERVAL_S", 0.01)
@@ -368,14 +418,14 @@
     async def test() -> None:
         held = open_storage(tmp_path / "s", "f", "a")
         assert isinstance(held, ClusterStorage)
-        made = ClusterService(cluster_settings(tmp_path), "a", node_factory=ScriptedNode)
-        made.start()
-        assert isinstance(await made.call(PutValue(id="1", name="n", value="v")), errors.NoLeader)
+        service = ClusterService(cluster_settings(tmp_path), "a", node_factory=ScriptedNode)
+        service.start()
+        assert isinstance(await service.call(PutValue(id="1", name="n", value="v")), errors.NoLeader)
         await asyncio.sleep(0.05)
-        assert made.node is None
+        assert service.node is None
         held.close()
-        await until(lambda: made.node is not None)
-        made.close()
+        await until(lambda: service.node is not None)
+        service.close()
         other = ClusterService(cluster_settings(tmp_path, name="other"), "a", node_factory=ScriptedNode)
         other.start()
         await until(lambda: other.failure is not None)
@@ -385,7 +435,7 @@
     run_with_timeout(test)
 
 
-def test_a_group_without_a_majority_goes_on_by_hand_once(
+def test_a_group_is_forced_to_go_on_without_its_majority_once(
     tmp_path: Path, caplog: pytest.LogCaptureFixture
 ) -> None:
     me, others = "a/x1", ("b/1", "c/1")
@@ -416,8 +466,7 @@
     run_with_timeout(test)
 
 
-# At the gateway
-# -------------------------------------------------------------------------------------------------------
+# In a gateway
 
 
 @contextlib.contextmanager
@@ -435,7 +484,7 @@
     return said
 
 
-def test_the_second_address_takes_fleet_calls_and_the_end_waits_for_the_node(
+def test_the_admin_address_takes_fleet_calls_and_shutdown_waits_for_the_node(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     async def test() -> None:
@@ -475,7 +524,7 @@
         run_with_timeout(test)
 
 
-def test_a_writer_that_has_ended_takes_nothing(tmp_path: Path) -> None:
+def test_a_closed_writer_ignores_requests(tmp_path: Path) -> None:
     disk = open_storage(tmp_path / "s", "f", "a")
     assert isinstance(disk, ClusterStorage)
     writer = StorageWriter(disk, lambda *_: None, lambda _: None, lambda _: None)
--- a/tests/gateway/cluster/test_storage.py
+++ b/tests/gateway/cluster/test_storage.py
@@ -1,5 +1,4 @@
-"""What a member's store gives back: all that was acknowledged as it was written, or word that it is
-damaged."""
+"""Stable storage of a member: what was acknowledged is read back as written, or reported as damaged."""
 
 from __future__ import annotations
 
@@ -39,8 +38,7 @@
     made.close()
 
 
-# What it gives back
-# ---------------------------------------------------------------------------------------------------
+# Reading back
 
 
 @pytest.mark.parametrize(
@@ -77,8 +75,21 @@
         ),
         ([entries(1, 2), DiscardGroup(), HardState(1, "")], PersistedGroup(1)),
     ],
+    ids=[
+        "hard state",
+        "entries",
+        "one entry overwritten",
+        "all entries overwritten",
+        "snapshot in the log",
+        "snapshot that contradicts the log",
+        "snapshot ahead of the log",
+        "same snapshot again",
+        "entries behind a snapshot overwritten",
+        "snapshot at index 0",
+        "group discarded and begun again",
+    ],
 )
-def test_what_was_written_comes_back(
+def test_records_are_read_back_as_written(
     storage: ClusterStorage, records: list[Record], saved: PersistedGroup
 ) -> None:
     """One transaction a record, and all records in one."""
@@ -87,37 +98,46 @@
     write_records(storage, "h", *records)
     write_records(storage, "gone", *records)
     write_records(storage, "gone", DiscardGroup())
-    back = reopened(storage)
-    assert back.persisted_groups == {"g": saved, "h": saved} and back.incarnation == "1" and not back.faults
-    write_records(back, "g", HardState(9, "z/1"))  # the chain goes on from what was read
+    reopened_storage = reopened(storage)
+    assert (
+        reopened_storage.persisted_groups == {"g": saved, "h": saved}
+        and reopened_storage.incarnation == "1"
+        and not reopened_storage.faults
+    )
+    write_records(reopened_storage, "g", HardState(9, "z/1"))  # the chain goes on from what was read
     last = (
-        back.persisted_groups["g"].entries[-1].index
-        if back.persisted_groups["g"].entries
-        else (back.persisted_groups["g"].snapshot.index if back.persisted_groups["g"].snapshot else 0)
+        reopened_storage.persisted_groups["g"].entries[-1].index
+        if reopened_storage.persisted_groups["g"].entries
+        else (
+            reopened_storage.persisted_groups["g"].snapshot.index
+            if reopened_storage.persisted_groups["g"].snapshot
+            else 0
+        )
     )
-    write_records(back, "g", entries(last + 1, last + 2, 7))
-    third = reopened(back)
+    write_records(reopened_storage, "g", entries(last + 1, last + 2, 7))
+    opened_again = reopened(reopened_storage)
     assert (
-        third.persisted_groups["g"].term == 9
-        and third.persisted_groups["g"].entries[-2:] == entries(last + 1, last + 2, 7).entries
+        opened_again.persisted_groups["g"].term == 9
+        and opened_again.persisted_groups["g"].entries[-2:] == entries(last + 1, last + 2, 7).entries
     )
-    third.close()
+    opened_again.close()
 
 
 @pytest.mark.parametrize(
-    "record", [entries(7, 7), entries(0, 1), Entries((entry(6), entry(8))), Snapshot(1, 1, CONFIG, b"")]
+    "record",
+    [entries(7, 7), entries(0, 1), Entries((entry(6), entry(8))), Snapshot(1, 1, CONFIG, b"")],
+    ids=["beyond the end", "before the snapshot", "gap within", "older snapshot"],
 )
-def test_a_hole_in_a_log_is_never_written(storage: ClusterStorage, record: Record) -> None:
+def test_a_record_that_leaves_a_gap_in_the_log_is_rejected(storage: ClusterStorage, record: Record) -> None:
     write_records(storage, "g", entries(1, 5), Snapshot(2, 1, CONFIG, b"x"))
     with pytest.raises(Exception, match="group g"):
         write_records(storage, "g", record)
-    back = reopened(storage)
-    assert back.persisted_groups["g"].entries == entries(3, 5).entries
-    back.close()
+    reopened_storage = reopened(storage)
+    assert reopened_storage.persisted_groups["g"].entries == entries(3, 5).entries
+    reopened_storage.close()
 
 
 # Damage
-# ---------------------------------------------------------------------------------------------------------------
 
 
 def filled(folder: Path, count: int = 60) -> dict[str, PersistedGroup]:
@@ -132,37 +152,41 @@
             storage._database.execute("PRAGMA wal_checkpoint(TRUNCATE)")
     shutil.copytree(folder / "live", folder / "dead", ignore=shutil.ignore_patterns("*-shm", "lock"))
     storage.close()
-    back = open_existing(folder / "live")
-    back.close()
-    return back.persisted_groups
+    reopened_storage = open_existing(folder / "live")
+    reopened_storage.close()
+    return reopened_storage.persisted_groups
 
 
-@pytest.mark.parametrize("name", [DATABASE_FILE, WAL_FILE, ACKNOWLEDGED_FILE])
-def test_a_flipped_bit_makes_a_newcomer_or_changes_nothing(tmp_path: Path, name: str) -> None:
-    """Never anything between: no entry, vote or snapshot that is not as it was written, none missing."""
+@pytest.mark.parametrize(
+    "name",
+    [DATABASE_FILE, WAL_FILE, ACKNOWLEDGED_FILE],
+    ids=["database", "write-ahead log", "acknowledged counter"],
+)
+def test_a_flipped_bit_is_reported_as_damage_or_changes_nothing(tmp_path: Path, name: str) -> None:
+    """Never anything between: no entry, vote or snapshot differs from what was written, and none is missing."""
     saved = filled(tmp_path)
     raw = (tmp_path / "dead" / name).read_bytes()
-    draw, newcomers = random.Random(7), 0
-    for round_ in range(70 if name != ACKNOWLEDGED_FILE else 12):
-        folder = tmp_path / str(round_)
+    chance, damaged_stores = random.Random(7), 0
+    for attempt in range(70 if name != ACKNOWLEDGED_FILE else 12):
+        folder = tmp_path / str(attempt)
         shutil.copytree(tmp_path / "dead", folder)
-        spoilt, bit = bytearray(raw), draw.randrange(len(raw) * 8)
-        spoilt[bit // 8] ^= 1 << bit % 8
-        (folder / name).write_bytes(spoilt)
-        back = open_existing(folder, incarnation="2")
-        if back.incarnation == "1":
-            assert back.persisted_groups == saved and not back.faults, bit
+        damaged, bit = bytearray(raw), chance.randrange(len(raw) * 8)
+        damaged[bit // 8] ^= 1 << bit % 8
+        (folder / name).write_bytes(damaged)
+        reopened_storage = open_existing(folder, incarnation="2")
+        if reopened_storage.incarnation == "1":
+            assert reopened_storage.persisted_groups == saved and not reopened_storage.faults, bit
         else:
-            newcomers += 1
-            assert not back.persisted_groups and [type(one) for one in back.faults] == [
-                errors.StorageDamaged
-            ], bit
+            damaged_stores += 1
+            assert not reopened_storage.persisted_groups and [
+                type(one) for one in reopened_storage.faults
+            ] == [errors.StorageDamaged], bit
             [kept] = folder.glob("damaged-*")
             assert (kept / DATABASE_FILE).exists()
-            write_records(back, "g", entries(1, 2))
-        back.close()
+            write_records(reopened_storage, "g", entries(1, 2))
+        reopened_storage.close()
         shutil.rmtree(folder)
-    assert newcomers > 5
+    assert damaged_stores > 5
 
 
 def cut_at(folder: Path, keep: int) -> None:
@@ -170,10 +194,10 @@
     wal.write_bytes(wal.read_bytes()[:keep])
 
 
-def test_a_torn_tail_is_cut_where_it_was_not_acknowledged(tmp_path: Path) -> None:
+def test_a_torn_wal_tail_is_cut_unless_it_was_acknowledged(tmp_path: Path) -> None:
     storage = open_existing(tmp_path / "live")
     write_records(storage, "g", entries(1, 4))
-    told = (tmp_path / "live" / ACKNOWLEDGED_FILE).read_bytes()
+    acknowledged = (tmp_path / "live" / ACKNOWLEDGED_FILE).read_bytes()
     before = (tmp_path / "live" / WAL_FILE).stat().st_size
     write_records(storage, "g", entries(5, 6))
     for name, keep in (("torn", before + 900), ("flipped", 0)):
@@ -182,7 +206,7 @@
             cut_at(tmp_path / name, keep)
     storage.close()
     (tmp_path / "torn" / ACKNOWLEDGED_FILE).write_bytes(
-        told
+        acknowledged
     )  # the power went between the tear and the answer
     torn = open_existing(tmp_path / "torn", incarnation="2")
     assert (
@@ -197,10 +221,12 @@
     gone.close()
 
 
-def test_more_than_a_tail_is_seen_without_the_count(tmp_path: Path) -> None:
+def test_two_commits_behind_a_broken_wal_frame_are_damage_without_the_acknowledged_counter(
+    tmp_path: Path,
+) -> None:
     """After the machine's death the count may be old: two commits behind a break are no tear."""
     storage = open_existing(tmp_path / "live")
-    told = (tmp_path / "live" / ACKNOWLEDGED_FILE).read_bytes()
+    acknowledged = (tmp_path / "live" / ACKNOWLEDGED_FILE).read_bytes()
     sizes = []
     for n in range(1, 6):
         write_records(storage, "g", entries(n, n))
@@ -211,52 +237,54 @@
     raw = bytearray(wal.read_bytes())
     raw[sizes[1] + 1000] ^= 1
     wal.write_bytes(raw)
-    (tmp_path / "dead" / ACKNOWLEDGED_FILE).write_bytes(told)
-    back = open_existing(tmp_path / "dead", incarnation="2")
-    assert back.incarnation == "2" and "transactions lie behind" in back.faults[0].what
-    back.close()
+    (tmp_path / "dead" / ACKNOWLEDGED_FILE).write_bytes(acknowledged)
+    reopened_storage = open_existing(tmp_path / "dead", incarnation="2")
+    assert (
+        reopened_storage.incarnation == "2" and "transactions lie behind" in reopened_storage.faults[0].what
+    )
+    reopened_storage.close()
 
 
-def test_a_store_that_is_gone_is_told_and_damaged_ones_are_kept_within_a_bound(
+def test_a_missing_store_is_reported_and_at_most_four_damaged_ones_are_kept(
     storage: ClusterStorage,
 ) -> None:
     write_records(storage, "g", entries(1, 2))
     storage.close()
     (storage.directory / DATABASE_FILE).unlink()
     for n in range(MAX_DAMAGED_STORES + 3):
-        back = open_existing(storage.directory, incarnation=f"w{n}")
-        assert back.incarnation == f"w{n}" and isinstance(back.faults[0], errors.StorageDamaged)
-        back.close()
+        reopened_storage = open_existing(storage.directory, incarnation=f"w{n}")
+        assert reopened_storage.incarnation == f"w{n}" and isinstance(
+            reopened_storage.faults[0], errors.StorageDamaged
+        )
+        reopened_storage.close()
         (storage.directory / DATABASE_FILE).write_bytes(b"not a store" * 500)
     assert len(list(storage.directory.glob("damaged-*"))) == MAX_DAMAGED_STORES
 
 
-# Whose it is
-# ----------------------------------------------------------------------------------------------------------
+# Ownership
 
 
-def test_one_folder_one_process_one_member_one_fleet(storage: ClusterStorage) -> None:
+def test_a_directory_is_opened_by_one_process_of_its_own_member_and_cluster(storage: ClusterStorage) -> None:
     held = open_storage(storage.directory, "f", "a")
     assert isinstance(held, StorageLocked) and isinstance(held.error, errors.StorageFailed)
     assert "another process" in held.error.what
     storage.close()
     for fleet, member in (("other", "a"), ("f", "b")):
         assert isinstance(open_storage(storage.directory, fleet, member), errors.ClusterMismatch)
-    back = open_existing(storage.directory)
-    assert back.incarnation == "1"
-    back.close()
+    reopened_storage = open_existing(storage.directory)
+    assert reopened_storage.incarnation == "1"
+    reopened_storage.close()
     (storage.directory / DATABASE_FILE).rename(storage.directory / "store-99.db")
     later = open_storage(storage.directory, "f", "a")
     assert isinstance(later, errors.StorageFailed) and "store-99.db" in later.what
 
 
-def test_a_folder_that_cannot_be_made_is_an_error(tmp_path: Path) -> None:
+def test_a_directory_that_cannot_be_created_is_an_error(tmp_path: Path) -> None:
     (tmp_path / "file").write_text("")
     assert isinstance(open_storage(tmp_path / "file" / "s", "f", "a"), errors.StorageFailed)
 
 
-# Off the loop
-# ---------------------------------------------------------------------------------------------------------
+# The writer thread
 
 
 class WriterObserver:
@@ -284,7 +312,7 @@
             await asyncio.wait_for(self.notified.wait(), 10)
 
 
-def test_what_waits_goes_into_one_transaction_and_is_answered_in_order(
+def test_pending_requests_share_one_transaction_and_are_acknowledged_in_order(
     storage: ClusterStorage, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     gate, write = threading.Event(), ClusterStorage.write
@@ -307,14 +335,15 @@
         observer.writer.close(10)
 
     asyncio.run(test())
-    back = open_existing(storage.directory)
+    reopened_storage = open_existing(storage.directory)
     assert (
-        back.persisted_groups["last"] == PersistedGroup(1, "a/1") and back.persisted_groups["g0"].term == 39
+        reopened_storage.persisted_groups["last"] == PersistedGroup(1, "a/1")
+        and reopened_storage.persisted_groups["g0"].term == 39
     )
-    back.close()
+    reopened_storage.close()
 
 
-def test_a_full_disk_breaks_the_store_once_and_keeps_what_was_acknowledged(storage: ClusterStorage) -> None:
+def test_a_full_disk_fails_the_storage_once_and_keeps_what_was_acknowledged(storage: ClusterStorage) -> None:
     async def test() -> None:
         storage._database.execute("PRAGMA max_page_count = 40")
         observer = WriterObserver(storage)
@@ -327,14 +356,17 @@
         observer.writer.submit([PersistRecords("g", 100, (HardState(1, ""),))])
         observer.writer.close(10)
         assert len(observer.failures) == 1
-        back = open_existing(storage.directory)
-        assert len(back.persisted_groups["g"].entries) == len(observer.persisted) > 3 and not back.faults
-        back.close()
+        reopened_storage = open_existing(storage.directory)
+        assert (
+            len(reopened_storage.persisted_groups["g"].entries) == len(observer.persisted) > 3
+            and not reopened_storage.faults
+        )
+        reopened_storage.close()
 
     asyncio.run(test())
 
 
-def test_a_disk_that_does_not_keep_up_is_given_up_at_the_bound(
+def test_the_storage_fails_when_pending_bytes_exceed_the_bound(
     storage: ClusterStorage, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     monkeypatch.setattr("badgeryoke.gateway.cluster.storage.writer.MAX_PENDING_BYTES", 10_000)
--- a/tests/gateway/cluster/test_transport.py
+++ b/tests/gateway/cluster/test_transport.py
@@ -1,5 +1,4 @@
-"""Links between gateways on loopback: what passes, what ends a link and is told, what is dropped at a
-bound."""
+"""Connections between gateways on loopback: delivery, rejected frames, backpressure, reconnects."""
 
 from __future__ import annotations
 
@@ -40,19 +39,19 @@
 )
 
 
-def test_messages_pass_both_ways_in_order_and_all_of_a_turn_in_one_frame() -> None:
+def test_messages_are_delivered_in_order_and_those_of_one_loop_turn_in_one_frame() -> None:
     async def test() -> None:
         async with connected_pair() as (here, there):
-            said: list[AnyMessage] = [
+            sent_messages: list[AnyMessage] = [
                 PING,
                 append_entries(),
                 RequestVoteReply("g", 2, True, False),
                 append_entries(70_000, 2),
             ]
-            for one in said:
+            for one in sent_messages:
                 here.transport.send("b/1", one)
             await until(lambda: len(there.received) == 4)
-            assert there.received == [("a/1", one) for one in said] and there.frame_sizes == [4]
+            assert there.received == [("a/1", one) for one in sent_messages] and there.frame_sizes == [4]
             there.transport.send("a", PING)  # only the name is known
             await until(lambda: here.received)
             assert here.received == [("b/1", PING)] and not here.errors + there.errors
@@ -67,13 +66,12 @@
     run_with_timeout(test)
 
 
-# Bad frames
-# -----------------------------------------------------------------------------------------------------------
+# Rejected frames
 
-GOOD = encode_frame(HANDSHAKE)
+HANDSHAKE_FRAME = encode_frame(HANDSHAKE)
 
 
-def raw(*fields: Any) -> bytes:
+def raw_frame(*fields: Any) -> bytes:
     body = msgspec.msgpack.encode(fields)
     return len(body).to_bytes(4, "big") + body
 
@@ -86,23 +84,44 @@
         (bytes(4), "bad-frame"),
         (b"\x00\x00\x00\x03\xff\xff\xff", "bad-frame"),
         (b"\x00\x00\x00\x40" + b"\x91" * 64, "bad-frame"),
-        (raw(VERSION + 1, "f", {"another": "form"}), "bad-frame"),
-        (raw(VERSION, "f", "a/1", "b", ("none",)), "bad-frame"),
+        (raw_frame(VERSION + 1, "f", {"another": "form"}), "bad-frame"),
+        (raw_frame(VERSION, "f", "a/1", "b", ("none",)), "bad-frame"),
         (encode_frame(Envelope(VERSION, "f", "a/1", "b", (PING,))), "bad-frame"),
-        (raw(VERSION, "other", "a/1", "b", ()), "another-fleet"),
-        (raw(VERSION, "f", "nobody/1", "b", ()), "another-fleet"),
-        (raw(VERSION, "f", "b/1", "b", ()), "another-fleet"),
-        (raw(VERSION, "f", "a", "b", ()), "another-fleet"),
-        (raw(VERSION, "f", "a/1", "b/0", ()), "stale-incarnation"),
-        (GOOD + raw(VERSION, "f", "a/1", "b/0", (PING,)), "stale-incarnation"),
-        (GOOD + raw(VERSION, "f", "c/1", "b", (PING,)), "bad-frame"),
-        (GOOD + raw(VERSION, "f", "a/1", "b", (["Unheard", 1],)), "bad-frame"),
-        (GOOD + raw(VERSION, "f", "a/1", "b", (["Ping", "one", "b/1", []],)), "bad-frame"),
-        (GOOD + encode_frame(Envelope(VERSION, "f", "a/1", "b", (PING,) * 1025)), "bad-frame"),
-        (GOOD + (2 << 20).to_bytes(4, "big"), "bad-frame"),
+        (raw_frame(VERSION, "other", "a/1", "b", ()), "another-fleet"),
+        (raw_frame(VERSION, "f", "nobody/1", "b", ()), "another-fleet"),
+        (raw_frame(VERSION, "f", "b/1", "b", ()), "another-fleet"),
+        (raw_frame(VERSION, "f", "a", "b", ()), "another-fleet"),
+        (raw_frame(VERSION, "f", "a/1", "b/0", ()), "stale-incarnation"),
+        (HANDSHAKE_FRAME + raw_frame(VERSION, "f", "a/1", "b/0", (PING,)), "stale-incarnation"),
+        (HANDSHAKE_FRAME + raw_frame(VERSION, "f", "c/1", "b", (PING,)), "bad-frame"),
+        (HANDSHAKE_FRAME + raw_frame(VERSION, "f", "a/1", "b", (["Unheard", 1],)), "bad-frame"),
+        (HANDSHAKE_FRAME + raw_frame(VERSION, "f", "a/1", "b", (["Ping", "one", "b/1", []],)), "bad-frame"),
+        (HANDSHAKE_FRAME + encode_frame(Envelope(VERSION, "f", "a/1", "b", (PING,) * 1025)), "bad-frame"),
+        (HANDSHAKE_FRAME + (2 << 20).to_bytes(4, "big"), "bad-frame"),
+    ],
+    ids=[
+        "not the protocol",
+        "frame too long",
+        "empty frame",
+        "not MessagePack",
+        "nested too deep",
+        "another version",
+        "messages of no type",
+        "messages before the handshake",
+        "another cluster",
+        "unknown member",
+        "own name",
+        "no incarnation",
+        "another incarnation of the receiver",
+        "later frame to another incarnation",
+        "later frame of another sender",
+        "unknown message",
+        "wrong field type",
+        "too many messages",
+        "later frame too long",
     ],
 )
-def test_a_bad_frame_ends_its_link_and_nothing_else(sent: bytes, code: str) -> None:
+def test_a_bad_frame_closes_its_own_connection_and_is_reported_once(sent: bytes, code: str) -> None:
     async def test() -> None:
         async with connected_pair() as (here, there):
             here.transport.send("b", PING)
@@ -126,8 +145,11 @@
         ({"fleet": "other"}, ("another-fleet", "another-fleet")),
         ({"name": "c"}, ("another-fleet", "another-fleet")),
     ],
+    ids=["cluster", "member"],
 )
-def test_both_sides_of_a_wrong_link_are_told(changes: dict[str, str], codes: tuple[str, str]) -> None:
+def test_both_sides_report_a_mismatched_cluster_or_member(
+    changes: dict[str, str], codes: tuple[str, str]
+) -> None:
     async def test() -> None:
         there = TransportEndpoint("b/1", a=1)
         here = TransportEndpoint("a/1", changes.get("fleet", "f"), **{changes.get("name", "b"): there.port})
@@ -140,7 +162,7 @@
     run_with_timeout(test)
 
 
-def test_another_incarnation_takes_the_place_of_the_one_before() -> None:
+def test_a_new_incarnation_replaces_the_previous_one() -> None:
     """What is meant for the old one does not reach the new; and the old one is not heard again."""
 
     async def test() -> None:
@@ -167,14 +189,13 @@
     run_with_timeout(test)
 
 
-# Bounds
-# ---------------------------------------------------------------------------------------------------------------
+# Backpressure and reconnects
 
 
-def test_at_the_bound_the_oldest_light_one_goes_then_the_oldest() -> None:
+def test_a_full_send_queue_drops_the_oldest_low_priority_message_then_the_oldest() -> None:
     limits = TransportLimits(max_queued_messages=4, max_queued_bytes=100)
     queue = SendQueue(limits)
-    for word, light in (
+    for body, low_priority in (
         (b"h1", False),
         (b"l1", True),
         (b"h2", False),
@@ -182,7 +203,7 @@
         (b"h3", False),
         (b"h4", False),
     ):
-        queue.add("b", word, light)
+        queue.add("b", body, low_priority)
     assert [one.body for one in queue.messages if one.body] == [
         b"h1",
         b"h2",
@@ -205,8 +226,12 @@
     )
 
 
-@pytest.mark.parametrize("reads", [False, True])
-def test_a_peer_that_does_not_read_or_answer_is_dropped_and_holds_up_nobody(reads: bool) -> None:
+@pytest.mark.parametrize(
+    "reads",
+    [False, True],
+    ids=["reads nothing", "answers nothing"],
+)
+def test_a_stalled_peer_is_disconnected_and_delays_no_other(reads: bool) -> None:
     """More than the bound is sent in each turn, so that something is lost however slow the turns are."""
 
     async def test() -> None:
@@ -235,7 +260,7 @@
     run_with_timeout(test)
 
 
-def test_a_link_over_which_nothing_is_said_is_closed_and_comes_back() -> None:
+def test_an_idle_connection_is_closed_and_reopened_when_needed() -> None:
     async def test() -> None:
         limits = replace(SHORT_TIMEOUTS, idle_timeout_s=0.02, idle_check_interval_s=0.01)
         async with connected_pair(limits=limits) as (here, there):
@@ -253,7 +278,7 @@
     run_with_timeout(test)
 
 
-def test_nobody_is_there_then_somebody_is() -> None:
+def test_a_peer_that_starts_late_is_reached_by_retries() -> None:
     async def test() -> None:
         with socket.create_server((HOST, 0)) as free:
             port = free.getsockname()[1]
@@ -272,7 +297,7 @@
     run_with_timeout(test)
 
 
-def test_strangers_that_say_nothing_give_way_and_are_closed() -> None:
+def test_connections_without_a_handshake_are_closed_before_those_of_peers() -> None:
     async def test() -> None:
         async with connected_pair() as (here, there):
             here.transport.send("b", PING)
@@ -288,7 +313,7 @@
     run_with_timeout(test)
 
 
-def test_a_message_that_no_frame_holds_is_told_and_not_sent() -> None:
+def test_a_message_larger_than_a_frame_is_reported_and_not_sent() -> None:
     async def test() -> None:
         async with connected_pair() as (here, there):
             here.transport.send("b", append_entries(2 << 20))
@@ -299,20 +324,20 @@
     run_with_timeout(test)
 
 
-def test_frames_of_chance_are_errors_and_never_more() -> None:
-    draw, whole = (
+def test_random_bytes_decode_to_an_error_and_never_raise() -> None:
+    draw, encoded = (
         Random(5),
         encode_frame(Envelope(VERSION, "f", "a/1", "b/1", (PING, append_entries(30))))[4:],
     )
     for _ in range(3000):
-        spoilt = bytearray(whole)
+        damaged = bytearray(encoded)
         for _ in range(draw.randrange(1, 4)):
-            spoilt[draw.randrange(len(spoilt))] = draw.randrange(256)
-        decode_envelope(bytes(spoilt[: draw.randrange(len(spoilt) + 1)]), "f", "a")
-    assert isinstance(decode_envelope(whole, "f", "a"), Envelope)
+            damaged[draw.randrange(len(damaged))] = draw.randrange(256)
+        decode_envelope(bytes(damaged[: draw.randrange(len(damaged) + 1)]), "f", "a")
+    assert isinstance(decode_envelope(encoded, "f", "a"), Envelope)
 
 
-def test_who_dials_is_dialled_at_once_however_long_the_pause_has_grown() -> None:
+def test_a_peer_that_dials_ends_the_reconnect_backoff() -> None:
     async def test() -> None:
         closed = socket.create_server((HOST, 0))
         port = closed.getsockname()[1]
