--- a/badgeryoke/gateway/cluster/connection_leases.py
+++ b/badgeryoke/gateway/cluster/connection_leases.py
@@ -11,11 +11,13 @@
 from collections.abc import Callable, Iterable
 from pathlib import Path
 
-from badgeryoke.cluster.connection_limits import CLOSING_MS, ConnectionLeaseHolder, process
+from badgeryoke.cluster.connection_limits.holders import holder_id
+from badgeryoke.cluster.connection_limits.lease_holder import ConnectionLeaseHolder
+from badgeryoke.cluster.connection_limits.lease_timing import CLOSE_BEFORE_EXPIRY_MS
 from badgeryoke.cluster.errors import ClusterError
 from badgeryoke.cluster.invariants import Invariants
 from badgeryoke.cluster.node import ClusterNode
-from badgeryoke.cluster.rolling_restart.restart import RollingRestartAgent
+from badgeryoke.cluster.rolling_restart.gateway_agent import RollingRestartAgent
 from badgeryoke.cluster.state_machine.part import ApplyResult, Command
 from badgeryoke.gateway.actor import ActorScheduler
 from badgeryoke.gateway.cluster.closing_sockets import ClosingSockets
@@ -75,7 +77,7 @@
         if not isinstance(node, ClusterNode):
             return
         boot_id = BOOT_ID_FILE.read_text().strip() if BOOT_ID_FILE.exists() else ""
-        process_id = process(node.me, boot_id, secrets.token_hex(_PROCESS_TOKEN_BYTES))
+        process_id = holder_id(node.me, boot_id, secrets.token_hex(_PROCESS_TOKEN_BYTES))
         holder = ConnectionLeaseHolder(
             process_id, node.setup.timings, invariants, self.monotonic_ms(), self.only_process
         )
@@ -160,8 +162,8 @@
     def _update_needs(self, holder: ConnectionLeaseHolder) -> None:
         for server in self._leases:
             needed = self._needed(server)
-            if needed or server in holder.pools:
-                holder.want(server, needed)
+            if needed or server in holder.servers:
+                holder.set_need(server, needed)
 
     # Checks: what has to be closed, and what a rolling restart wants.
 
@@ -208,8 +210,8 @@
         for leases in self._leases.values():
             for lease in leases:
                 lease.surplus_count = 0
-        for server, surplus in holder.must_close(now_ms):
-            lease_ends = not holder.held(now_ms + CLOSING_MS, server)
+        for server, surplus in holder.excess(now_ms):
+            lease_ends = not holder.lease_valid(now_ms + CLOSE_BEFORE_EXPIRY_MS, server)
             for lease in self._leases.get(server, ()):
                 count = min(surplus, lease.open_count)
                 surplus -= count
--- a/tests/gateway/cluster/test_connection_leases.py
+++ b/tests/gateway/cluster/test_connection_leases.py
@@ -15,18 +15,17 @@
 
 import pytest
 
-from badgeryoke.cluster.connection_limits import (
+from badgeryoke.cluster.connection_limits.commands import (
     ConnectionLeaseRequest,
-    ConnectionLimits,
     RequestConnectionLeases,
     SetConnectionLimit,
-    bucket,
-    process,
 )
+from badgeryoke.cluster.connection_limits.holders import holder_id, server_bucket
+from badgeryoke.cluster.connection_limits.limits import ConnectionLimits
 from badgeryoke.cluster.errors import NoLeader
 from badgeryoke.cluster.invariants import Invariants
 from badgeryoke.cluster.node import ClusterNode, Member, NodeSetup
-from badgeryoke.cluster.rolling_restart.restart import ReadDesiredState
+from badgeryoke.cluster.rolling_restart.commands import ReadDesiredState
 from badgeryoke.cluster.state_machine.machine import GroupStateMachine
 from badgeryoke.cluster.state_machine.part import FLEET, ApplyResult, LeaderView
 from badgeryoke.cluster.timings import Timings
@@ -119,7 +118,7 @@
     @property
     def open(self) -> int:
         holder = self.leases.lease_holder
-        return holder.pools["s"].open if holder is not None and "s" in holder.pools else 0
+        return holder.servers["s"].open if holder is not None and "s" in holder.servers else 0
 
     def ask(self, deadline_ms: float = 2 * LONG_CONNECT_TIMEOUT_MS) -> Attempt:
         """One attempt."""
@@ -152,7 +151,10 @@
         self.gateways: list[LeasedGateway] = []
         self.unreachable: set[str] = set()
         self.part = ConnectionLimits(Invariants(), TIMINGS)
-        self.part.apply(0.0, SetConnectionLimit(id="l", server="s", most=CONNECTION_LIMIT, idle_ms=IDLE_MS))
+        self.part.apply(
+            0.0,
+            SetConnectionLimit(id="l", server="s", max_connections=CONNECTION_LIMIT, idle_timeout_ms=IDLE_MS),
+        )
 
     async def run(self) -> None:
         while True:
@@ -418,13 +420,19 @@
         leased_gateway.node.replicas["g0"] = leased_gateway.node.replicas[FLEET] = leader
         for server in ("gone", "used"):
             group.part.apply(
-                0.0, SetConnectionLimit(id=server, server=server, most=CONNECTION_LIMIT, idle_ms=IDLE_MS)
+                0.0,
+                SetConnectionLimit(
+                    id=server, server=server, max_connections=CONNECTION_LIMIT, idle_timeout_ms=IDLE_MS
+                ),
             )
-        other = process("B/1", "b", "1")
+        other = holder_id("B/1", "b", "1")
         group.part.apply(
             0.0,
             RequestConnectionLeases(
-                id="x", holder=other, bucket=bucket("used"), asks=(ConnectionLeaseRequest("used", 0, 0, 1),)
+                id="x",
+                holder=other,
+                bucket=server_bucket("used"),
+                requests=(ConnectionLeaseRequest("used", 0, 0, 1),),
             ),
         )
         now = 0.0
