--- a/badgeryoke/cluster/connection_limits.py
+++ b/badgeryoke/cluster/connection_limits.py
@@ -34,7 +34,7 @@
 
 from badgeryoke.cluster.errors import ClusterError, DuplicateId, InvalidCall, NotFound, WrongState
 from badgeryoke.cluster.invariants import Invariants, Rule
-from badgeryoke.cluster.leases.lease_pool import EDGE, LeaseGrant, LeasePool
+from badgeryoke.cluster.leases.lease_pool import EPSILON, LeaseGrant, LeasePool
 from badgeryoke.cluster.messages import MemberId, member_name
 from badgeryoke.cluster.state_machine.part import ApplyResult, Command, LeaderView
 from badgeryoke.cluster.timings import Timings
@@ -176,7 +176,7 @@
 
 @dataclass(slots=True)
 class _Server:
-    """One server's limit; `parts.aim` is the limit, `parts.whole` above it while more is held than a
+    """One server's limit; `parts.target` is the limit, `parts.capacity` above it while more is held than a
     lowered one."""
 
     idle_ms: float
@@ -228,7 +228,7 @@
         return ApplyResult({"granted": int(found.parts.granted())})
 
     def _tidy(self, server: str) -> None:
-        if self.servers[server].gone and not self.servers[server].parts.held:
+        if self.servers[server].gone and not self.servers[server].parts.leases:
             del self.servers[server]
 
     def _leases(self, command: RequestConnectionLeases) -> ApplyResult:
@@ -241,7 +241,7 @@
                 [who, server, held.number]
                 for server, one in self.servers.items()
                 if bucket(server) == command.bucket
-                for who, held in one.parts.held.items()
+                for who, held in one.parts.leases.items()
                 if who != command.holder and machine(who) == mine
             ]
         )
@@ -252,29 +252,29 @@
         if found is None:
             return [ask.server, UNKNOWN, 0, 0, 0]
         parts = found.parts
-        before, limit = parts.granted(), parts.aim
-        parts.last = self._last
-        given = parts.ask(who, ask.number, ask.keep, ask.wish, 0.0, self._rules)
+        before, limit = parts.granted(), parts.target
+        parts.last_number = self._last
+        given = parts.request(who, ask.number, ask.keep, ask.wish, 0.0, self._rules)
         if not isinstance(given, LeaseGrant):  # it names a lease that is over, or keeps more than it has
             return [ask.server, OVER, 0, 0, 0]
-        held = parts.held.get(who)
+        held = parts.leases.get(who)
         if held is None:
             self._tidy(ask.server)
-            return [ask.server, 0, 0, 0, max(int(given.spare), 0)]
+            return [ask.server, 0, 0, 0, max(int(given.slack), 0)]
         # An even share of 0.12 is one connection for those who come first, or nobody had any; but what is
         # over the whole steps goes to nobody while another has less than those, or it would go round between
         # those who have them.
-        even = int(given.fair + EDGE)
+        even = int(given.fair_share + EPSILON)
         first = any(
-            one.part + EDGE < min(one.wish, even) for other, one in parts.held.items() if other != who
+            one.share + EPSILON < min(one.wanted, even) for other, one in parts.leases.items() if other != who
         )
-        aim = min(even if first else math.ceil(given.fair - EDGE), ask.wish)
+        aim = min(even if first else math.ceil(given.fair_share - EPSILON), ask.wish)
         granted = parts.granted()
-        if held.part < aim and limit - granted >= 1.0 - EDGE:
+        if held.share < aim and limit - granted >= 1.0 - EPSILON:
             parts.grow(who, 1.0)
             granted += 1.0
-        if limit - granted >= 1.0 - EDGE and not first:
-            aim = max(aim, int(held.part))  # nobody is short: what lies idle may stay open
+        if limit - granted >= 1.0 - EPSILON and not first:
+            aim = max(aim, int(held.share))  # nobody is short: what lies idle may stay open
         self._rules.check(
             Rule.LEASE_ONCE,
             held.number > self._last,
@@ -283,15 +283,15 @@
         self._last = held.number
         self._rules.check(
             Rule.CONNECTIONS_FIT,
-            granted <= max(limit, before) + EDGE,
+            granted <= max(limit, before) + EPSILON,
             lambda: f"{ask.server}: {granted:g} of {limit:g} granted, {before:g} before",
         )
-        return [ask.server, held.number, int(held.part), aim, max(int(limit - granted), 0)]
+        return [ask.server, held.number, int(held.share), aim, max(int(limit - granted), 0)]
 
     def _end(self, command: ReleaseConnectionLeases) -> ApplyResult:
         ended = 0
         for server, number in command.ends:
-            if server in self.servers and self.servers[server].parts.end(command.holder, number):
+            if server in self.servers and self.servers[server].parts.release(command.holder, number):
                 ended += 1
                 self._tidy(server)
         return ApplyResult({"ended": ended})
@@ -312,7 +312,7 @@
         self.seen(view.now)
         ends: dict[tuple[MemberId, str], list[tuple[str, int]]] = {}
         for server, one in self.servers.items():
-            for who, number in one.parts.over(view.now, self.patience(one.idle_ms), view.lead_since):
+            for who, number in one.parts.expired(view.now, self.patience(one.idle_ms), view.lead_since):
                 ends.setdefault((who, bucket(server)), []).append((server, number))
         made: list[Command] = []
         for (who, where), found in list(ends.items())[:MOST_ENDS]:
@@ -331,15 +331,15 @@
     def seen(self, now: float) -> None:
         """See badgeryoke.cluster.state_machine.part."""
         for one in self.servers.values():
-            one.parts.seen(now)
+            one.parts.mark_seen(now)
 
     def told(self) -> dict[str, Any]:
         """For operators: limit, what is granted, to how many."""
         return {
             server: {
-                "limit": int(one.parts.aim),
+                "limit": int(one.parts.target),
                 "granted": int(one.parts.granted()),
-                "holders": len(one.parts.held),
+                "holders": len(one.parts.leases),
             }
             for server, one in self.servers.items()
         }
@@ -471,7 +471,7 @@
             return pool.need
         need = max(pool.need, pool.peak, pool.now_peak)
         return (
-            min(math.ceil(need * self.grow - EDGE) + 1, MOST_LIMIT) if need else 0
+            min(math.ceil(need * self.grow - EPSILON) + 1, MOST_LIMIT) if need else 0
         )  # one more: it is dialled sooner
 
     def _due(self, now: float, pool: _Pool, wish: int) -> bool:
--- a/badgeryoke/cluster/leases/lease_pool.py
+++ b/badgeryoke/cluster/leases/lease_pool.py
@@ -27,9 +27,9 @@
 from badgeryoke.cluster.invariants import Invariants, Rule
 from badgeryoke.cluster.messages import MemberId
 
-EDGE = 1e-9
-MOST_HOLDERS = 1024
-MOST_GAP_MS = 250.0
+EPSILON = 1e-9
+MAX_HOLDERS = 1024
+MAX_ACCRUAL_GAP_MS = 250.0
 RESUM = 64  # changes between two times that running sums are added up afresh and compared
 STANDBY, BUSY = (
     0.1,
@@ -45,12 +45,12 @@
     """One holder's lease."""
 
     number: int
-    part: float
-    wish: float
-    cap: float = 0.0  # depth of its bucket
-    soft: bool = False
-    pulls: bool = False  # it draws units as it needs them, and no part is for its wish
-    seen: float = (
+    share: float
+    wanted: float
+    depth: float = 0.0  # depth of its bucket
+    takes_spare: bool = False
+    draws_per_request: bool = False  # it draws units as it needs them, and no part is for its wish
+    seen_ms: float = (
         math.inf
     )  # `now` of this machine when it saw it applied; not the same at every copy, never dumped
 
@@ -60,15 +60,17 @@
     """What an asker holds from here on.  It shrinks to `fair` and `fair_cap` before it next asks."""
 
     number: int
-    part: float
-    room: float  # units for its bucket, on top of those it has
-    spare: float  # not granted to anybody
+    share: float
+    units: float  # units for its bucket, on top of those it has
+    slack: float  # not granted to anybody
     holders: int
-    cap: float = 0.0
-    fair: float = 0.0
-    fair_cap: float = 0.0
-    most: float = 0.0  # what it may hold on to: its fair part, all that nobody wishes, all that nobody lacks
-    lack: float = 0.0  # what others have less than they would, if this one wished nothing
+    depth: float = 0.0
+    fair_share: float = 0.0
+    fair_depth: float = 0.0
+    max_share: float = (
+        0.0  # what it may hold on to: its fair part, all that nobody wishes, all that nobody lacks
+    )
+    others_deficit: float = 0.0  # what others have less than they would, if this one wished nothing
 
 
 @dataclass(slots=True)
@@ -78,46 +80,46 @@
     loses least where one customer's traffic moves between the holders.  A whole that is made less takes
     nothing away at once: nothing is granted until holders have given back, or ended, as much."""
 
-    aim: float  # the whole as it shall be
+    target: float  # the whole as it shall be
     depth: float = 0.0  # of the bucket that travels along; 0 for none
     step: float = 0.0
-    held: dict[MemberId, LeaseShare] = field(default_factory=dict)
-    last: int = 0
-    free: float = -1.0  # units of the bucket that nobody holds; begins at `depth`
-    even: bool = True
-    at_ms: float = 0.0  # the group's time up to which it has accrued
+    leases: dict[MemberId, LeaseShare] = field(default_factory=dict)
+    last_number: int = 0
+    free_units: float = -1.0  # units of the bucket that nobody holds; begins at `depth`
+    even_split: bool = True
+    accrued_until_ms: float = 0.0  # the group's time up to which it has accrued
     # Running sums over `held`: parts, wishes, depths, soft ones, wishes of those that pull, and changes since
     # they were added up.  They are dumped to the last bit, since every copy has to come to the same ones.
     sums: list[float] = field(default_factory=list)
 
     def __post_init__(self) -> None:
-        self.free = self.depth if self.free < 0 else self.free
+        self.free_units = self.depth if self.free_units < 0 else self.free_units
         self.sums = self.sums or self._added()
 
     def _added(self) -> list[float]:
-        held = self.held.values()
+        held = self.leases.values()
         return [
-            sum(one.part for one in held),
-            sum(one.wish for one in held if not one.pulls),
-            sum(one.cap for one in held),
-            float(sum(one.soft for one in held)),
-            sum(one.wish for one in held if one.pulls),
+            sum(one.share for one in held),
+            sum(one.wanted for one in held if not one.draws_per_request),
+            sum(one.depth for one in held),
+            float(sum(one.takes_spare for one in held)),
+            sum(one.wanted for one in held if one.draws_per_request),
             0.0,
         ]
 
     def _put(self, who: MemberId, one: LeaseShare, sign: float = 1.0) -> None:
         """Take a holder in, or (-1) out, and bring the sums up to that."""
         if sign > 0.0:
-            self.held[who] = one
+            self.leases[who] = one
         else:
-            del self.held[who]
+            del self.leases[who]
         sums = self.sums
-        sums[0] += sign * one.part
-        sums[4 if one.pulls else 1] += sign * one.wish
-        sums[2] += sign * one.cap
-        sums[3] += sign * one.soft
+        sums[0] += sign * one.share
+        sums[4 if one.draws_per_request else 1] += sign * one.wanted
+        sums[2] += sign * one.depth
+        sums[3] += sign * one.takes_spare
         sums[5] += 1.0
-        if not self.held:
+        if not self.leases:
             self.sums = [0.0] * 6
 
     def _summed(self, rules: Invariants) -> None:
@@ -136,44 +138,44 @@
 
     def grow(self, who: MemberId, by: float) -> None:
         """More for a holder, of what nobody has."""
-        self.held[who].part += by
+        self.leases[who].share += by
         self.sums[0] += by
 
     @property
-    def whole(self) -> float:
+    def capacity(self) -> float:
         """What the parts sum to at most now: above `aim` while more is held than a lesser one."""
-        return max(self.aim, self.granted())
+        return max(self.target, self.granted())
 
     def granted(self) -> float:
         """The sum of all parts."""
         return max(self.sums[0], 0.0)
 
-    def resize(self, whole: float, depth: float) -> None:
+    def resize(self, target: float, depth: float) -> None:
         """Another whole, and another depth: of a smaller one, units that nobody holds go first."""
-        self.aim, self.depth = whole, depth
-        self.free = max(min(self.free, depth - self._caps()), 0.0)
+        self.target, self.depth = target, depth
+        self.free_units = max(min(self.free_units, depth - self._caps()), 0.0)
 
     def accrue(self, at_ms: float) -> None:
         """What nobody holds fills the bucket as well, by the group's time; of a gap in that, `MOST_GAP_MS`
         count."""
-        gap = min(max(at_ms - self.at_ms, 0.0), MOST_GAP_MS)
-        more = max(self.aim - self.granted(), 0.0) * gap / 1000.0
-        self.free = max(min(self.free + more, self.depth - self._caps()), 0.0)
-        self.at_ms = max(at_ms, self.at_ms)
+        gap = min(max(at_ms - self.accrued_until_ms, 0.0), MAX_ACCRUAL_GAP_MS)
+        more = max(self.target - self.granted(), 0.0) * gap / 1000.0
+        self.free_units = max(min(self.free_units + more, self.depth - self._caps()), 0.0)
+        self.accrued_until_ms = max(at_ms, self.accrued_until_ms)
 
-    def ask(
+    def request(
         self,
-        who: MemberId,
+        holder: MemberId,
         number: int,
-        keep: float,
-        wish: float,
-        room: float,
+        kept: float,
+        wanted: float,
+        returned_units: float,
         rules: Invariants,
-        hold: float = 0.0,
-        need: float = 0.0,
-        soft: bool = False,
-        least: float = 0.0,
-        pulls: bool = False,
+        kept_depth: float = 0.0,
+        wanted_units: float = 0.0,
+        takes_spare: bool = False,
+        min_depth: float = 0.0,
+        draws_per_request: bool = False,
     ) -> LeaseGrant | InvalidCall | LeaseExpired:
         """Renew, shrink, grow or give back (wish 0, keep 0, not soft).  `number` 0: it holds none.
 
@@ -181,70 +183,76 @@
         back; `need`: units that it could take; `least`: the depth that its largest request needs.  `soft`: it
         takes what no wish needs as well, until another asks for it.  `pulls`: see `Held`.
         """
-        mine = self.held.get(who)
-        had, cap = (mine.part, mine.cap) if mine is not None else (0.0, 0.0)
+        mine = self.leases.get(holder)
+        had, cap = (mine.share, mine.depth) if mine is not None else (0.0, 0.0)
         if number != (mine.number if mine is not None else 0):
-            return LeaseExpired(who, f"lease {number} is not the one in force")
+            return LeaseExpired(holder, f"lease {number} is not the one in force")
         if not (
-            0.0 <= keep <= had + EDGE
-            and 0.0 <= wish < math.inf
-            and room >= 0.0
-            and 0.0 <= need < math.inf
-            and least >= 0.0
-            and hold >= 0.0
-            and hold + room <= cap + EDGE
+            0.0 <= kept <= had + EPSILON
+            and 0.0 <= wanted < math.inf
+            and returned_units >= 0.0
+            and 0.0 <= wanted_units < math.inf
+            and min_depth >= 0.0
+            and kept_depth >= 0.0
+            and kept_depth + returned_units <= cap + EPSILON
         ):
             return InvalidCall(
-                who, f"keep {keep!r}, wish {wish!r}, hold {hold!r} or room {room!r} is out of bounds"
+                holder,
+                f"keep {kept!r}, wish {wanted!r}, hold {kept_depth!r} or room {returned_units!r} is out of bounds",
             )
-        if mine is None and len(self.held) >= MOST_HOLDERS:
-            return InvalidCall(who, f"{MOST_HOLDERS} hold a part already")
+        if mine is None and len(self.leases) >= MAX_HOLDERS:
+            return InvalidCall(holder, f"{MAX_HOLDERS} hold a part already")
         before, deep = self.granted(), self._caps()
         if mine is not None:
-            self._put(who, mine, -1.0)
+            self._put(holder, mine, -1.0)
         # What it gives back lay in the depth that it gives back, so caps and free units stay within the
         # depth.
-        self.free = max(min(self.free + room, self.depth - self._caps() - hold), 0.0)
-        if wish <= 0.0 and keep <= 0.0 and hold <= 0.0 and not soft:
-            return LeaseGrant(0, 0.0, 0.0, self.aim - self.granted(), len(self.held))
-        spare = max(self.aim - self.granted(), 0.0)
-        fair = self.fair(who, wish, soft, pulls)
-        most = fair if not self.even or soft else min(wish, fair)
-        if soft and (
-            self.even or self.sums[1] + (0.0 if pulls else wish) <= EDGE
+        self.free_units = max(
+            min(self.free_units + returned_units, self.depth - self._caps() - kept_depth), 0.0
+        )
+        if wanted <= 0.0 and kept <= 0.0 and kept_depth <= 0.0 and not takes_spare:
+            return LeaseGrant(0, 0.0, 0.0, self.target - self.granted(), len(self.leases))
+        spare = max(self.target - self.granted(), 0.0)
+        fair = self.fair_share(holder, wanted, takes_spare, draws_per_request)
+        most = fair if not self.even_split or takes_spare else min(wanted, fair)
+        if takes_spare and (
+            self.even_split or self.sums[1] + (0.0 if draws_per_request else wanted) <= EPSILON
         ):  # nobody's wish is for it: to lend
-            most = max(most, self.aim - self.sums[1] - LOOSE * (self.sums[4] + (wish if pulls else 0.0)))
+            most = max(
+                most,
+                self.target - self.sums[1] - LOOSE * (self.sums[4] + (wanted if draws_per_request else 0.0)),
+            )
         # What it keeps stays its own even above a whole that was made less: it was granted, and is in use.
-        part = max(min(most, spare), min(keep, had))
+        part = max(min(most, spare), min(kept, had))
         if self.step:
-            part = int(part / self.step + EDGE) * self.step
-        fair_cap = max(self._fair_cap(0.0 if pulls else wish), min(least, self.depth))
-        grow = max(fair_cap - hold, 0.0)
+            part = int(part / self.step + EPSILON) * self.step
+        fair_cap = max(self._fair_cap(0.0 if draws_per_request else wanted), min(min_depth, self.depth))
+        grow = max(fair_cap - kept_depth, 0.0)
         given = min(
-            self.free, need if self.held or mine is not None else max(need, fair_cap)
+            self.free_units, wanted_units if self.leases or mine is not None else max(wanted_units, fair_cap)
         )  # alone, all is with it
-        slack = max(self.depth - self._caps() - hold - self.free, 0.0)
-        self.free -= given
-        cap = hold + max(min(grow, slack + given), given)
-        self.last += 1
-        self._put(who, LeaseShare(self.last, part, wish, cap, soft, pulls))
+        slack = max(self.depth - self._caps() - kept_depth - self.free_units, 0.0)
+        self.free_units -= given
+        cap = kept_depth + max(min(grow, slack + given), given)
+        self.last_number += 1
+        self._put(holder, LeaseShare(self.last_number, part, wanted, cap, takes_spare, draws_per_request))
         self._summed(rules)
         rules.check(
             Rule.PARTS_IN_WHOLE,
-            self.granted() <= max(self.aim, before) + 1e-6
-            and self._caps() + self.free <= max(self.depth, deep) + 1e-6,
+            self.granted() <= max(self.target, before) + 1e-6
+            and self._caps() + self.free_units <= max(self.depth, deep) + 1e-6,
             lambda: (
-                f"{self.granted():g} of {self.aim:g}, depth {self._caps():g} and {self.free:g} of "
-                f"{self.depth:g} granted to {len(self.held)}"
+                f"{self.granted():g} of {self.target:g}, depth {self._caps():g} and {self.free_units:g} of "
+                f"{self.depth:g} granted to {len(self.leases)}"
             ),
         )
-        lack = 0.0 if self.even else self._lack(who, wish, pulls)
+        lack = 0.0 if self.even_split else self._lack(holder, wanted, draws_per_request)
         return LeaseGrant(
-            self.last,
+            self.last_number,
             part,
             given,
-            self.aim - self.granted(),
-            len(self.held),
+            self.target - self.granted(),
+            len(self.leases),
             cap,
             fair,
             fair_cap,
@@ -257,77 +265,87 @@
         and is not."""
         others = max(self.sums[1] - (0.0 if pulls else wish), 0.0)
         loose = self._loose(0.0 if pulls else wish, others, self.sums[4])
-        lack = max(loose - (self.aim - self.granted()), 0.0)
-        scale = (self.aim - loose) / (others + (0.0 if pulls else wish)) if others > EDGE else 0.0
-        for other, one in self.held.items():
-            if other != who and not one.pulls and (less := one.wish * scale - one.part) > 0.0:
+        lack = max(loose - (self.target - self.granted()), 0.0)
+        scale = (self.target - loose) / (others + (0.0 if pulls else wish)) if others > EPSILON else 0.0
+        for other, one in self.leases.items():
+            if other != who and not one.draws_per_request and (less := one.wanted * scale - one.share) > 0.0:
                 lack += less
         return lack
 
     def _loose(self, wish: float, others: float, pulls: float) -> float:
         """What of the rate is to be nobody's: for those that pull, and what several do not need evenly."""
-        return min(self.aim, LOOSE * pulls + min(POOLED * min(self.aim, wish + others), others))
+        return min(self.target, LOOSE * pulls + min(POOLED * min(self.target, wish + others), others))
 
-    def fair(self, who: MemberId, wish: float, soft: bool = False, pulls: bool = False) -> float:
+    def fair_share(
+        self, holder: MemberId, wanted: float, takes_spare: bool = False, draws_per_request: bool = False
+    ) -> float:
         """What one wish comes to beside those of all other holders; with what no wish needs where it is
         soft."""
-        mine = self.held.get(who)
-        theirs, pulled, others = self.sums[1], self.sums[4] + (wish if pulls else 0.0), len(self.held)
+        mine = self.leases.get(holder)
+        theirs, pulled, others = (
+            self.sums[1],
+            self.sums[4] + (wanted if draws_per_request else 0.0),
+            len(self.leases),
+        )
         if mine is not None:
             others -= 1
-            theirs, pulled = (theirs, pulled - mine.wish) if mine.pulls else (theirs - mine.wish, pulled)
+            theirs, pulled = (
+                (theirs, pulled - mine.wanted) if mine.draws_per_request else (theirs - mine.wanted, pulled)
+            )
         theirs = max(theirs, 0.0)
-        lenders = 1 + int(self.sums[3]) - (mine is not None and mine.soft)
-        if not self.even:  # what is not needed is held where it may be needed next, and lent there
-            own = 0.0 if pulls else wish
-            left = self.aim - self._loose(own, theirs, max(pulled, 0.0))
-            if own + theirs > EDGE:
+        lenders = 1 + int(self.sums[3]) - (mine is not None and mine.takes_spare)
+        if not self.even_split:  # what is not needed is held where it may be needed next, and lent there
+            own = 0.0 if draws_per_request else wanted
+            left = self.target - self._loose(own, theirs, max(pulled, 0.0))
+            if own + theirs > EPSILON:
                 return left * own / (own + theirs)
-            return left / lenders if soft and lenders <= MOST_SOFT else 0.0
-        left = self.aim - wish - theirs
+            return left / lenders if takes_spare and lenders <= MOST_SOFT else 0.0
+        left = self.target - wanted - theirs
         if left >= 0.0:
-            return wish + left / (lenders if soft else 1)
-        left, count = self.aim, others + 1
-        wishes = [wish, *[one.wish for one in self.held.values() if one is not mine]]
+            return wanted + left / (lenders if takes_spare else 1)
+        left, count = self.target, others + 1
+        wishes = [wanted, *[one.wanted for one in self.leases.values() if one is not mine]]
         for one in sorted(wishes):  # max-min: the least wishes first
             share = left / count
             if one > share:
-                return max(min(wish, share), 0.0)
+                return max(min(wanted, share), 0.0)
             left, count = left - one, count - 1
-        return wish
+        return wanted
 
     def _fair_cap(self, wish: float) -> float:
         """An even part of `STANDBY` of the depth, with one left for a newcomer, and by wishes of `BUSY` of
         it; all of it for one that is alone."""
-        if not self.held:
+        if not self.leases:
             return self.depth
-        count, total = len(self.held) + 1, wish + max(self.sums[1], 0.0)
+        count, total = len(self.leases) + 1, wish + max(self.sums[1], 0.0)
         return self.depth * (STANDBY / (count + 1) + BUSY * (wish / total if total > 0.0 else 0.0))
 
     def excess(self, who: MemberId) -> float:
         """By how much a holder is above its fair part while others have less than theirs: it should give
         that back."""
-        mine = self.held[who]
-        return max(mine.part - self.fair(who, mine.wish, mine.soft), 0.0)
+        mine = self.leases[who]
+        return max(mine.share - self.fair_share(who, mine.wanted, mine.takes_spare), 0.0)
 
-    def end(self, who: MemberId, number: int) -> bool:
+    def release(self, who: MemberId, number: int) -> bool:
         """The time of a lease is over: its part and its depth are free, what was in its bucket is gone."""
-        mine = self.held.get(who)
+        mine = self.leases.get(who)
         if mine is None or mine.number != number:
             return False
         self._put(who, mine, -1.0)
         return True
 
-    def over(self, now: float, outlast: float, since: float) -> list[tuple[MemberId, int]]:
+    def expired(self, now: float, outlast: float, since: float) -> list[tuple[MemberId, int]]:
         """Whose time is over by this machine's clock: seen for so long, and not before this one began to
         look."""
-        return [(who, one.number) for who, one in self.held.items() if now - max(one.seen, since) >= outlast]
+        return [
+            (who, one.number) for who, one in self.leases.items() if now - max(one.seen_ms, since) >= outlast
+        ]
 
-    def seen(self, now: float) -> None:
+    def mark_seen(self, now: float) -> None:
         """Note when leases that are new here were seen."""
-        for one in self.held.values():
-            if one.seen == math.inf:
-                one.seen = now
+        for one in self.leases.values():
+            if one.seen_ms == math.inf:
+                one.seen_ms = now
 
     def _caps(self) -> float:
         return max(self.sums[2], 0.0)
@@ -335,16 +353,16 @@
     def dump(self) -> Any:
         """Plain data."""
         return [
-            self.aim,
+            self.target,
             self.depth,
             self.step,
-            self.last,
-            self.free,
-            self.even,
-            self.at_ms,
+            self.last_number,
+            self.free_units,
+            self.even_split,
+            self.accrued_until_ms,
             [
-                [who, one.number, one.part, one.wish, one.cap, one.soft, one.pulls]
-                for who, one in self.held.items()
+                [who, one.number, one.share, one.wanted, one.depth, one.takes_spare, one.draws_per_request]
+                for who, one in self.leases.items()
             ],
             self.sums,
         ]
--- a/badgeryoke/cluster/node.py
+++ b/badgeryoke/cluster/node.py
@@ -580,7 +580,10 @@
         if replica.group == FLEET:
             parts = self.states[FLEET].parts
             places = parts["placing"]
-            load = {**load, "promised": parts["contracts"].promised(wall, wall + parts["rolls"].horizon_ms())}
+            load = {
+                **load,
+                "promised": parts["contracts"].peak_reserved_rate(wall, wall + parts["rolls"].horizon_ms()),
+            }
         behind = {
             group: held.behind for group, held in places.groups.items() if held.behind
         }  # as leaders reported it
@@ -625,13 +628,13 @@
         known, idle = state.parts["connections"].servers, self.setup.idle_ms
         return [
             SetConnectionLimit(
-                id=f"limit/{server}/{most}/{known[server].parts.whole if server in known else 0:g}/{state.index}",
+                id=f"limit/{server}/{most}/{known[server].parts.capacity if server in known else 0:g}/{state.index}",
                 server=server,
                 most=most,
                 idle_ms=idle,
             )
             for server, most in self.limits.items()
-            if (server not in known or known[server].parts.whole != most)
+            if (server not in known or known[server].parts.capacity != most)
             and group_of(bucket(server), self.founding.record.groups) == group
         ]
 
--- a/badgeryoke/cluster/reservations/contract.py
+++ b/badgeryoke/cluster/reservations/contract.py
@@ -44,13 +44,13 @@
     WrongState,
 )
 from badgeryoke.cluster.invariants import Invariants, Rule
-from badgeryoke.cluster.leases.lease_pool import EDGE, MOST_HOLDERS, LeaseGrant, LeasePool
+from badgeryoke.cluster.leases.lease_pool import EPSILON, MAX_HOLDERS, LeaseGrant, LeasePool
 from badgeryoke.cluster.messages import MemberId
 from badgeryoke.cluster.state_machine.part import ApplyResult, Command, LeaderView
 from badgeryoke.cluster.timings import Timings
 
 MOST_CONTRACTS = 1000  # not settled, in the fleet; more are refused
-MOST_OF_TENANT = 16
+MAX_CONTRACTS_PER_TENANT = 16
 MOST_SETTLED = 200  # kept for reading; the oldest goes first
 MOST_CUSTOMERS = 1000  # of one contract
 MOST_SPANS = 512  # times that one contract's windows come to
@@ -64,7 +64,7 @@
 MOST_NUMBER = 1 << 53  # of anything counted: no link and no store has to carry a longer one
 RANKS = 9  # classes of importance, 1 goes last when capacity falls short
 ARM_MS = 10_000.0  # before its window a contract is armed, and gateways begin to ask
-EARLY_MS = 1000.0  # before its window parts are granted, for use from its begin
+GRANT_AHEAD_MS = 1000.0  # before its window parts are granted, for use from its begin
 CURED_MS = 5000.0  # without a unit short a breach is over
 OTHERS_FLOOR = 0.1  # part of the capacity that is promised to nobody, where nothing else is stated
 SLICE_MS = 5.0  # in which a gateway counts what was asked for and what was drawn together
@@ -75,8 +75,8 @@
 AHEAD_SLICES = 400  # of a clock that is ahead
 # are remembered for what a gateway that was cut off tells late; later still, it is not counted
 KEPT_SLICES = 120_000
-REST_MS = 500.0  # without a request: what was due until then and was not drawn never will be
-LONGEST_WAIT_MS = 300.0  # of a request at a gateway, for its turn
+BUSY_PERIOD_GAP_MS = 500.0  # without a request: what was due until then and was not drawn never will be
+MAX_WAIT_MS = 300.0  # of a request at a gateway, for its turn
 NO_LEASE = "no lease"  # units that no gateway had a part for, where the tenant asked
 OPEN_MS = 500.0  # between two askings of the other group, doubled up to AGAIN_MS
 AGAIN_MS = 30_000.0
@@ -103,11 +103,11 @@
     REFUSE = "it does not fit"
     ARM = "its window is near and the tenant's group holds it"
     BEGIN = "its window begins"
-    SHORT = "units within it were not served"
-    CURE = "no unit was short of late"
+    SHORTFALL = "units within it were not served"
+    RECOVER = "no unit was short of late"
     END = "its window ends"
     CANCEL = "it is taken back"
-    AGAIN = "another window is ahead"
+    NEXT_WINDOW = "another window is ahead"
     SETTLE = "its last lease is over"
 
 
@@ -118,22 +118,22 @@
     (S.ADMITTED, E.ARM): S.ARMED,
     (S.ADMITTED, E.END): S.CLOSING,  # the tenant's group never came to hold it
     (S.ADMITTED, E.CANCEL): S.CLOSING,
-    (S.ADMITTED, E.SHORT): S.ADMITTED,
+    (S.ADMITTED, E.SHORTFALL): S.ADMITTED,
     (S.ARMED, E.BEGIN): S.ACTIVE,
     (S.ARMED, E.END): S.CLOSING,
     (S.ARMED, E.CANCEL): S.CLOSING,
-    (S.ARMED, E.SHORT): S.ARMED,
-    (S.ACTIVE, E.SHORT): S.BREACHED,
+    (S.ARMED, E.SHORTFALL): S.ARMED,
+    (S.ACTIVE, E.SHORTFALL): S.BREACHED,
     (S.ACTIVE, E.END): S.CLOSING,
     (S.ACTIVE, E.CANCEL): S.CLOSING,
-    (S.BREACHED, E.SHORT): S.BREACHED,
-    (S.BREACHED, E.CURE): S.ACTIVE,
+    (S.BREACHED, E.SHORTFALL): S.BREACHED,
+    (S.BREACHED, E.RECOVER): S.ACTIVE,
     (S.BREACHED, E.END): S.CLOSING,
     (S.BREACHED, E.CANCEL): S.CLOSING,
-    (S.CLOSING, E.SHORT): S.CLOSING,  # told late
-    (S.CLOSING, E.AGAIN): S.ADMITTED,
+    (S.CLOSING, E.SHORTFALL): S.CLOSING,  # told late
+    (S.CLOSING, E.NEXT_WINDOW): S.ADMITTED,
     (S.CLOSING, E.SETTLE): S.SETTLED,
-    (S.SETTLED, E.SHORT): S.SETTLED,
+    (S.SETTLED, E.SHORTFALL): S.SETTLED,
 }
 
 
@@ -156,7 +156,7 @@
     rate: float  # units a second
     burst: float  # units
     windows: tuple[Window, ...]
-    hall: str = ""  # empty: any
+    zone: str = msgspec.field(default="", name="hall")  # empty: any
     surplus: bool = True
     rank: int = 1  # class of importance: where capacity falls short, the highest number goes first
 
@@ -194,7 +194,7 @@
         count += MOST_SPANS + 1 if many else _times(one)
         if count > MOST_SPANS:
             return f"windows: they come to more than {MOST_SPANS}"
-    found = spans(windows)
+    found = expand_windows(windows)
     if found[-1][1] - found[0][0] > LONGEST_MS:
         return "windows: expected all within 366 days"
     return "windows: two lie over each other" if any(a[1] > b[0] for a, b in pairwise(found)) else ""
@@ -207,7 +207,7 @@
 Span = tuple[float, float]  # Unix ms
 
 
-def spans(windows: Iterable[Window]) -> list[Span]:
+def expand_windows(windows: Iterable[Window]) -> list[Span]:
     """All times at which windows hold, in order."""
     return sorted(
         (one.from_ms + turn * one.every_ms, one.to_ms + turn * one.every_ms)
@@ -224,17 +224,21 @@
     """What the fleet can carry, units a second; `reserve`: the part kept for losses; `floor`: units a
     second for all others; `halls`: capacity of each, where it is known."""
 
-    units: float
-    reserve: float
-    floor: float
-    halls: dict[str, float] = msgspec.field(default_factory=dict)
+    capacity: float = msgspec.field(name="units")
+    reserve_fraction: float = msgspec.field(name="reserve")
+    unreserved_rate: float = msgspec.field(name="floor")
+    zones: dict[str, float] = msgspec.field(default_factory=dict, name="halls")
 
     def validate(self) -> str:
-        if not 0.0 <= self.units <= HIGHEST or not 0.0 <= self.floor <= HIGHEST:
+        if not 0.0 <= self.capacity <= HIGHEST or not 0.0 <= self.unreserved_rate <= HIGHEST:
             return "units: expected 0 to 1e9, and floor as well"
-        if len(self.halls) > 64 or not all(0.0 <= one <= HIGHEST for one in self.halls.values()):
+        if len(self.zones) > 64 or not all(0.0 <= one <= HIGHEST for one in self.zones.values()):
             return "halls: expected 64 at the most, each 0 to 1e9"
-        return "" if 0.0 <= self.reserve < 1.0 else f"reserve: expected 0 to below 1, got {self.reserve!r}"
+        return (
+            ""
+            if 0.0 <= self.reserve_fraction < 1.0
+            else f"reserve: expected 0 to below 1, got {self.reserve_fraction!r}"
+        )
 
 
 class ProposeContract(Command, frozen=True, kw_only=True, tag="Propose"):
@@ -252,10 +256,10 @@
 
     contract: str
     terms: ContractTerms
-    holds_from_ms: float
+    effective_from_ms: float = msgspec.field(name="holds_from_ms")
 
     def validate(self) -> str:
-        if not 0.0 < self.holds_from_ms < math.inf:
+        if not 0.0 < self.effective_from_ms < math.inf:
             return "holds_from_ms: expected a moment, Unix ms"
         return _named(self.contract) or self.terms.validate()
 
@@ -284,13 +288,13 @@
     once: ClassVar[bool] = False
 
     contract: str
-    by: str
+    reporter: str = msgspec.field(name="by")
     cause: str
     units: float
     since_ms: float
 
     def validate(self) -> str:
-        if not 0 < len(self.by) <= 200 or not 0 < len(self.cause) <= 40:
+        if not 0 < len(self.reporter) <= 200 or not 0 < len(self.cause) <= 40:
             return "by: expected a name, and a cause"
         return (
             ""
@@ -316,10 +320,10 @@
 
     reads: ClassVar[bool] = True
 
-    have: int = -1
+    known_revision: int = msgspec.field(default=-1, name="have")
 
     def validate(self) -> str:
-        return _counted("have", self.have + 1)
+        return _counted("have", self.known_revision + 1)
 
 
 # Commands of a tenant's group
@@ -340,12 +344,12 @@
     version: int
     rate: float
     burst: float
-    times: tuple[Span, ...]
-    holds_from_ms: float
+    intervals: tuple[Span, ...] = msgspec.field(name="times")
+    effective_from_ms: float = msgspec.field(name="holds_from_ms")
 
     def validate(self) -> str:
         good = 1 <= self.version < MOST_NUMBER and 0.0 < self.rate <= HIGHEST and 0.0 <= self.burst <= HIGHEST
-        return "" if good and len(self.times) <= MOST_SPANS else "version: out of bounds"
+        return "" if good and len(self.intervals) <= MOST_SPANS else "version: out of bounds"
 
 
 class RequestLease(_OfTenant, frozen=True, kw_only=True, tag="Lease"):
@@ -355,23 +359,30 @@
     once: ClassVar[bool] = False  # its number states the order; the last answer is kept for a repeat
 
     holder: MemberId
-    number: int
-    keep: float
-    wish: float
-    room: float
-    hold: float = 0.0
-    need: float = 0.0
-    soft: bool = False
-    least: float = 0.0
-    pulls: bool = False
+    lease_number: int = msgspec.field(name="number")
+    kept_rate: float = msgspec.field(name="keep")
+    wanted_rate: float = msgspec.field(name="wish")
+    returned_units: float = msgspec.field(name="room")
+    kept_depth: float = msgspec.field(default=0.0, name="hold")
+    wanted_units: float = msgspec.field(default=0.0, name="need")
+    takes_spare: bool = msgspec.field(default=False, name="soft")
+    min_depth: float = msgspec.field(default=0.0, name="least")
+    draws_per_request: bool = msgspec.field(default=False, name="pulls")
     process: str = ""  # of the holder; and the order of its calls: one that comes behind a later one is stale
-    order: int = 0
+    sequence: int = msgspec.field(default=0, name="order")
 
     def validate(self) -> str:
-        figures = (self.keep, self.wish, self.room, self.hold, self.need, self.least)
+        figures = (
+            self.kept_rate,
+            self.wanted_rate,
+            self.returned_units,
+            self.kept_depth,
+            self.wanted_units,
+            self.min_depth,
+        )
         if not all(0.0 <= one <= HIGHEST for one in figures):
             return "keep: expected 0 to 1e9, and the other figures as well"
-        if said := _counted("number", self.number) or _counted("order", self.order):
+        if said := _counted("number", self.lease_number) or _counted("order", self.sequence):
             return said
         return "" if 0 < len(self.holder) <= 200 and len(self.process) <= 64 else "holder: expected a name"
 
@@ -388,7 +399,7 @@
 
     once: ClassVar[bool] = False
 
-    by: str
+    reporter: str = msgspec.field(name="by")
     slices: tuple[tuple[int, float, float], ...]
 
     def validate(self) -> str:
@@ -398,7 +409,7 @@
         )
         return (
             ""
-            if good and len(self.slices) <= MOST_TOLD and 0 < len(self.by) <= 200
+            if good and len(self.slices) <= MOST_TOLD and 0 < len(self.reporter) <= 200
             else "slices: out of bounds"
         )
 
@@ -409,10 +420,10 @@
     once: ClassVar[bool] = False  # its number is given once
 
     holder: MemberId
-    number: int
+    lease_number: int = msgspec.field(name="number")
 
     def validate(self) -> str:
-        return _counted("number", self.number)
+        return _counted("number", self.lease_number)
 
 
 FLEET_COMMANDS: tuple[type[Command], ...] = (
@@ -458,8 +469,8 @@
 
     number: int
     terms: ContractTerms
-    times: list[Span]
-    holds_from: float
+    intervals: list[Span]
+    effective_from_ms: float
 
 
 @dataclass(slots=True)
@@ -470,13 +481,13 @@
     name: str
     versions: list[ContractVersion]
     state: ContractState = ContractState.PROPOSED
-    told: int = 0  # the newest version that the tenant's group holds to
+    confirmed_version: int = 0  # the newest version that the tenant's group holds to
     cancelled: bool = False
-    short: dict[str, dict[str, float]] = field(default_factory=dict)  # cause -> reporter -> units
-    since_ms: float = 0.0  # of the first unit short
-    last_short_ms: float = 0.0
+    shortfalls: dict[str, dict[str, float]] = field(default_factory=dict)  # cause -> reporter -> units
+    shortfall_since_ms: float = 0.0  # of the first unit short
+    last_shortfall_ms: float = 0.0
 
-    def step(self, step: ContractEvent) -> bool:
+    def advance(self, step: ContractEvent) -> bool:
         """Go on by the table; False where the table has no such step."""
         new = TRANSITIONS.get((self.state, step))
         self.state = new or self.state
@@ -487,16 +498,18 @@
         """What holds, or will."""
         return self.versions[-1]
 
-    def at(self, at_ms: float) -> ContractVersion:
+    def version_at(self, at_ms: float) -> ContractVersion:
         """The version whose windows hold at a moment."""
-        return self.newest if at_ms >= self.newest.holds_from else self.versions[0]
+        return self.newest if at_ms >= self.newest.effective_from_ms else self.versions[0]
 
-    def pieces(self, tail: float) -> list[Piece]:
+    def reserved_intervals(self, tail: float) -> list[Piece]:
         """What it takes of the capacity: while two versions are about, the dearer at every moment."""
-        found = [[(begin, end + tail, one.terms.rate) for begin, end in one.times] for one in self.versions]
+        found = [
+            [(begin, end + tail, one.terms.rate) for begin, end in one.intervals] for one in self.versions
+        ]
         if len(found) == 1:
             return _merged([], found[0])
-        later = self.newest.holds_from
+        later = self.newest.effective_from_ms
         return _merged(
             found[0], [(max(begin, later), end, rate) for begin, end, rate in found[1] if end > later]
         )
@@ -545,12 +558,12 @@
 
     def __init__(self, timings: Timings, rules: Invariants) -> None:
         self._timings, self._rules = timings, rules
-        self.held: dict[str, Contract] = {}
-        self.capacity, self.reserve, self.floor = 0.0, 0.0, 0.0
-        self.halls: dict[str, float] = {}
-        self.made = 0  # versions; a number is given once, whatever contract bears a name
-        self.stated = 0  # times that a capacity was stated
-        self.known = 0  # changes of what gateways have to know
+        self.contracts: dict[str, Contract] = {}
+        self.capacity, self.reserve_fraction, self.unreserved_rate = 0.0, 0.0, 0.0
+        self.zones: dict[str, float] = {}
+        self.last_version = 0  # versions; a number is given once, whatever contract bears a name
+        self.capacity_revision = 0  # times that a capacity was stated
+        self.revision = 0  # changes of what gateways have to know
         self._asked: dict[
             str, tuple[float, float]
         ] = {}  # of this leader alone: when to ask again, and the pause
@@ -559,7 +572,7 @@
         ] = {}  # what was promised already when less capacity was stated; by hall
 
     @property
-    def tail(self) -> float:
+    def lease_tail_ms(self) -> float:
         """So long behind a window's end a lease may yet be in use."""
         return self._timings.outlast()
 
@@ -567,15 +580,15 @@
         """See badgeryoke.cluster.state_machine.part."""
         if said := command.validate():
             return ApplyResult(error=InvalidCall(getattr(command, "contract", "") or "capacity", said))
-        for one in self.held.values():
+        for one in self.contracts.values():
             self._move(at_ms, one)
         match command:
             case ProposeContract():
                 result = self._propose(at_ms, command)
             case ChangeContract():
-                result = self._change(at_ms, command.contract, command.terms, command.holds_from_ms)
+                result = self._change(at_ms, command.contract, command.terms, command.effective_from_ms)
             case CancelContract():
-                result = self._change(at_ms, command.contract, None, at_ms + 2 * self.tail)
+                result = self._change(at_ms, command.contract, None, at_ms + 2 * self.lease_tail_ms)
             case VersionDrained():
                 result = self._told(at_ms, command)
             case ReportShortfall():
@@ -597,13 +610,13 @@
         """See badgeryoke.cluster.state_machine.part."""
         if isinstance(command, PollContracts):
             return ApplyResult(
-                {"known": self.known}
-                if command.have == self.known
+                {"known": self.revision}
+                if command.known_revision == self.revision
                 else {
-                    "known": self.known,
+                    "known": self.revision,
                     "contracts": [
                         self._facts(one)
-                        for one in self.held.values()
+                        for one in self.contracts.values()
                         if one.state not in (S.SETTLED, S.REFUSED)
                     ],
                 }
@@ -611,9 +624,9 @@
         return ApplyResult(
             {
                 "capacity": self.capacity,
-                "reserve": self.reserve,
-                "floor": self.floor,
-                "contracts": {one.name: self._told_of(one) for one in self.held.values()},
+                "reserve": self.reserve_fraction,
+                "floor": self.unreserved_rate,
+                "contracts": {one.name: self._told_of(one) for one in self.contracts.values()},
             }
         )
 
@@ -621,22 +634,22 @@
         """What may be promised, units a second: in all, or in a hall (whose reserve and floor are its
         part)."""
         if not hall:
-            return max(self.capacity * (1.0 - self.reserve) - self.floor, 0.0)
-        part = self.halls.get(hall, self.capacity) / self.capacity if self.capacity else 0.0
+            return max(self.capacity * (1.0 - self.reserve_fraction) - self.unreserved_rate, 0.0)
+        part = self.zones.get(hall, self.capacity) / self.capacity if self.capacity else 0.0
         return self.available() * min(part, 1.0)
 
-    def promised(self, begin: float, end: float) -> float:
+    def peak_reserved_rate(self, begin: float, end: float) -> float:
         """The most that contracts take at any moment of a time (Unix ms), units a second."""
         return self._line().peak(begin, end)
 
     def _propose(self, at_ms: float, command: ProposeContract) -> ApplyResult:
-        terms, known = command.terms, self.held.get(command.contract)
+        terms, known = command.terms, self.contracts.get(command.contract)
         if known is not None:
             same = known.versions[0].terms == terms
             return ApplyResult(
                 self._told_of(known), None if same else WrongState(command.contract, "another has that name")
             )
-        times = spans(terms.windows)
+        times = expand_windows(terms.windows)
         if times[0][0] < at_ms:
             late = at_ms - times[0][0]
             return ApplyResult(
@@ -644,28 +657,29 @@
             )
         if (full := self._full(terms, len(times))) is not None:
             return ApplyResult(error=full)
-        made = Contract(command.contract, [ContractVersion(self.made + 1, terms, times, 0.0)])
-        refused = self._refuse(at_ms, made.name, made.pieces(self.tail), terms)
-        made.step(E.ADMIT if refused is None else E.REFUSE)
+        made = Contract(command.contract, [ContractVersion(self.last_version + 1, terms, times, 0.0)])
+        refused = self._refuse(at_ms, made.name, made.reserved_intervals(self.lease_tail_ms), terms)
+        made.advance(E.ADMIT if refused is None else E.REFUSE)
         if refused is not None:
             return ApplyResult(error=refused)
-        self.held[made.name] = made
-        self.made += 1
-        self.known += 1
+        self.contracts[made.name] = made
+        self.last_version += 1
+        self.revision += 1
         self._move(at_ms, made)
         return ApplyResult(self._told_of(made))
 
     def _full(self, terms: ContractTerms, times: int) -> AnyError | None:
         self._tidy()
-        live = [one for one in self.held.values() if one.state is not S.SETTLED]
+        live = [one for one in self.contracts.values() if one.state is not S.SETTLED]
         if (
             len(live) >= MOST_CONTRACTS
-            or sum(one.newest.terms.tenant == terms.tenant for one in live) >= MOST_OF_TENANT
+            or sum(one.newest.terms.tenant == terms.tenant for one in live) >= MAX_CONTRACTS_PER_TENANT
         ):
             return Overloaded(
-                terms.tenant, f"{MOST_CONTRACTS} in all, or {MOST_OF_TENANT} of a tenant, are held already"
+                terms.tenant,
+                f"{MOST_CONTRACTS} in all, or {MAX_CONTRACTS_PER_TENANT} of a tenant, are held already",
             )
-        if sum(len(v.times) for one in live for v in one.versions) + times > MOST_SPANS_IN_ALL:
+        if sum(len(v.intervals) for one in live for v in one.versions) + times > MOST_SPANS_IN_ALL:
             return Overloaded(terms.tenant, f"windows: all contracts' come to more than {MOST_SPANS_IN_ALL}")
         return None
 
@@ -674,11 +688,11 @@
     ) -> InsufficientCapacity | None:
         """Why it does not fit, or None.  `pieces`: all that it would take, beside all others."""
         fits = math.inf
-        for hall in ("", terms.hall) if terms.hall else ("",):
+        for hall in ("", terms.zone) if terms.zone else ("",):
             others = self._line(hall, without=name)
             free = self.available(hall)
             ahead = [(max(begin, at_ms), end, rate) for begin, end, rate in pieces if end > at_ms]
-            if any(others.peak(begin, end) + rate > free + EDGE for begin, end, rate in ahead):
+            if any(others.peak(begin, end) + rate > free + EPSILON for begin, end, rate in ahead):
                 fits = min(fits, max(free - max(others.peak(begin, end) for begin, end, _ in ahead), 0.0))
         if fits is math.inf:
             return None
@@ -691,7 +705,7 @@
 
     def _earliest(self, at_ms: float, name: str, pieces: list[Piece], terms: ContractTerms) -> float:
         """From when on all of it would fit; it can only become so where something else ends."""
-        halls = ("", terms.hall) if terms.hall else ("",)
+        halls = ("", terms.zone) if terms.zone else ("",)
         lines = [(self._line(hall, without=name), self.available(hall)) for hall in halls]
         begin = pieces[0][0]
         ends = sorted(
@@ -705,7 +719,7 @@
         for at in ends[:MOST_TRIES]:
             shift = at - begin
             if all(
-                line.peak(a + shift, b + shift) + rate <= free + EDGE
+                line.peak(a + shift, b + shift) + rate <= free + EPSILON
                 for line, free in lines
                 for a, b, rate in pieces
             ):
@@ -715,16 +729,16 @@
     def _line(self, hall: str = "", without: str = "") -> CapacityProfile:
         return CapacityProfile(
             piece
-            for one in self.held.values()
+            for one in self.contracts.values()
             if one.name != without
             and one.state not in (S.SETTLED, S.REFUSED)
-            and (not hall or any(v.terms.hall == hall for v in one.versions))
-            for piece in one.pieces(self.tail)
+            and (not hall or any(v.terms.zone == hall for v in one.versions))
+            for piece in one.reserved_intervals(self.lease_tail_ms)
         )
 
     def _check(self, at_ms: float) -> None:
         """What is promised fits from here on, but for what stood already when less capacity was stated."""
-        for hall in ("", *self.halls):
+        for hall in ("", *self.zones):
             peak, free = self._line(hall).peak(at_ms, math.inf), self.available(hall)
             booked = self._booked.get(hall, 0.0)
             said = f"{peak:g} units a second promised, {free:g} may be"
@@ -732,85 +746,91 @@
             self._booked[hall] = min(booked, peak) if peak > free else 0.0
 
     def _change(self, at_ms: float, name: str, terms: ContractTerms | None, holds_from: float) -> ApplyResult:
-        found = self.held.get(name)
+        found = self.contracts.get(name)
         if found is None:
             return ApplyResult(error=NotFound(name, "no such contract is known"))
         old = found.newest
-        if found.cancelled or found.state in (S.SETTLED, S.REFUSED) or old.times[-1][1] <= at_ms:
+        if found.cancelled or found.state in (S.SETTLED, S.REFUSED) or old.intervals[-1][1] <= at_ms:
             return ApplyResult(
                 error=WrongState(name, f"it is {'cancelled' if found.cancelled else found.state.value}")
             )
         if len(found.versions) > 1:
             return ApplyResult(error=WrongState(name, "the change before is not through yet"))
-        if holds_from < at_ms + 2 * self.tail - EDGE:
+        if holds_from < at_ms + 2 * self.lease_tail_ms - EPSILON:
             return ApplyResult(
-                error=InvalidCall(name, f"holds_from_ms: expected {2 * self.tail:.0f} ms ahead at the least")
+                error=InvalidCall(
+                    name, f"holds_from_ms: expected {2 * self.lease_tail_ms:.0f} ms ahead at the least"
+                )
             )
-        if terms is not None and (terms.tenant, terms.hall) != (old.terms.tenant, old.terms.hall):
+        if terms is not None and (terms.tenant, terms.zone) != (old.terms.tenant, old.terms.zone):
             return ApplyResult(error=InvalidCall(name, "tenant: it stays, and the hall as well"))
-        times = spans(terms.windows) if terms is not None else []
+        times = expand_windows(terms.windows) if terms is not None else []
         if terms is not None and times[-1][1] <= holds_from:
             return ApplyResult(
                 error=InvalidCall(name, "windows: expected one that ends behind holds_from_ms")
             )
-        coming = ContractVersion(self.made + 1, terms or old.terms, times, holds_from)
-        before = found.pieces(self.tail)
+        coming = ContractVersion(self.last_version + 1, terms or old.terms, times, holds_from)
+        before = found.reserved_intervals(self.lease_tail_ms)
         more = [
             one
-            for one in Contract(name, [old, coming]).pieces(self.tail)
-            if one[2] > _height(before, one[0]) + EDGE
+            for one in Contract(name, [old, coming]).reserved_intervals(self.lease_tail_ms)
+            if one[2] > _height(before, one[0]) + EPSILON
         ]
         if terms is not None and more and (refused := self._refuse(at_ms, name, more, terms)) is not None:
             return ApplyResult(error=refused)
         found.versions.append(coming)
-        self.made += 1
-        self.known += 1
+        self.last_version += 1
+        self.revision += 1
         if terms is None:
             found.cancelled = True
-            found.step(E.CANCEL)
+            found.advance(E.CANCEL)
         return ApplyResult(self._told_of(found))
 
     def _told(self, at_ms: float, command: VersionDrained) -> ApplyResult:
-        found = self.held.get(command.contract)
+        found = self.contracts.get(command.contract)
         if found is None:
             return ApplyResult(error=NotFound(command.contract, "no such contract is known"))
         if command.version > found.newest.number:
             return ApplyResult(
                 error=WrongState(command.contract, f"version {command.version} is not known here")
             )
-        if command.version > found.told:
-            found.told = command.version
+        if command.version > found.confirmed_version:
+            found.confirmed_version = command.version
             if len(found.versions) > 1 and command.version == found.newest.number:
                 del found.versions[0]
-            self.known += 1
+            self.revision += 1
             self._move(at_ms, found)
         return ApplyResult()
 
     def _short(self, at_ms: float, command: ReportShortfall) -> ApplyResult:
-        found = self.held.get(command.contract)
+        found = self.contracts.get(command.contract)
         if found is None:
             return ApplyResult(error=NotFound(command.contract, "no such contract is known"))
-        told = found.short.setdefault(command.cause, {})
-        more = command.units - told.get(command.by, 0.0)
-        if command.by not in told and sum(map(len, found.short.values())) >= MOST_REPORTERS:
+        told = found.shortfalls.setdefault(command.cause, {})
+        more = command.units - told.get(command.reporter, 0.0)
+        if command.reporter not in told and sum(map(len, found.shortfalls.values())) >= MOST_REPORTERS:
             return ApplyResult(
                 error=Overloaded(command.contract, f"{MOST_REPORTERS} reports are counted already")
             )
         if more <= 0.0:
             return ApplyResult()
-        told[command.by] = command.units
-        found.since_ms = min(found.since_ms or math.inf, command.since_ms)
-        found.last_short_ms = at_ms
-        found.step(E.SHORT)
+        told[command.reporter] = command.units
+        found.shortfall_since_ms = min(found.shortfall_since_ms or math.inf, command.since_ms)
+        found.last_shortfall_ms = at_ms
+        found.advance(E.SHORTFALL)
         return ApplyResult()
 
     def _capacity(self, at_ms: float, command: SetCapacity) -> ApplyResult:
-        self.capacity, self.reserve, self.floor = command.units, command.reserve, command.floor
-        self.halls = dict(sorted(command.halls.items()))
-        self.stated += 1
+        self.capacity, self.reserve_fraction, self.unreserved_rate = (
+            command.capacity,
+            command.reserve_fraction,
+            command.unreserved_rate,
+        )
+        self.zones = dict(sorted(command.zones.items()))
+        self.capacity_revision += 1
         # What was promised stays promised: it is for `badgeryoke.cluster.reservations.priority_shedding` to
         # say who goes first, and nothing new is admitted.
-        self._booked = {hall: self._line(hall).peak(at_ms, math.inf) for hall in ("", *self.halls)}
+        self._booked = {hall: self._line(hall).peak(at_ms, math.inf) for hall in ("", *self.zones)}
         return ApplyResult(
             {"available": self.available(), "over": max(self._booked[""] - self.available(), 0.0)}
         )
@@ -822,17 +842,17 @@
 
     def _step(self, at_ms: float, one: Contract) -> bool:
         step = self._due(at_ms, one)
-        return step is not None and one.step(step)
+        return step is not None and one.advance(step)
 
     def _due(self, at_ms: float, one: Contract) -> ContractEvent | None:
         """The step that time asks for, if the table has one."""
-        times = one.at(at_ms).times
+        times = one.version_at(at_ms).intervals
         turn = bisect_right(times, at_ms, key=lambda span: span[1])
         now = times[turn] if turn < len(times) else None  # the window in force, or the next
         if one.state is S.ADMITTED:
             if now is None:
                 return E.END
-            return E.ARM if one.told and at_ms >= now[0] - ARM_MS else None
+            return E.ARM if one.confirmed_version and at_ms >= now[0] - ARM_MS else None
         if one.state in (S.ARMED, S.ACTIVE, S.BREACHED):
             if now is None or at_ms < now[0] - ARM_MS:
                 return E.END
@@ -840,22 +860,26 @@
                 return E.BEGIN if at_ms >= now[0] else None
             if at_ms < now[0]:
                 return E.END
-            return E.CURE if one.state is S.BREACHED and at_ms >= one.last_short_ms + CURED_MS else None
+            return (
+                E.RECOVER if one.state is S.BREACHED and at_ms >= one.last_shortfall_ms + CURED_MS else None
+            )
         if one.state is S.CLOSING:
             if one.cancelled:
-                return E.SETTLE if one.told == one.newest.number else None
+                return E.SETTLE if one.confirmed_version == one.newest.number else None
             if now is not None:
-                last = times[turn - 1][1] + self.tail if turn else at_ms  # until its last lease is over
-                return E.AGAIN if at_ms >= min(last, now[0] - EARLY_MS) else None
-            if len(one.versions) == 1 and at_ms >= (times[-1][1] if times else 0.0) + self.tail:
+                last = (
+                    times[turn - 1][1] + self.lease_tail_ms if turn else at_ms
+                )  # until its last lease is over
+                return E.NEXT_WINDOW if at_ms >= min(last, now[0] - GRANT_AHEAD_MS) else None
+            if len(one.versions) == 1 and at_ms >= (times[-1][1] if times else 0.0) + self.lease_tail_ms:
                 return E.SETTLE
         return None
 
     def _tidy(self) -> None:
         """Forget the oldest of the settled."""
-        settled = [name for name, one in self.held.items() if one.state is S.SETTLED]
+        settled = [name for name, one in self.contracts.items() if one.state is S.SETTLED]
         for name in settled[: max(len(settled) - MOST_SETTLED, 0)]:
-            del self.held[name]
+            del self.contracts[name]
 
     def leader_tasks(self, view: LeaderView) -> list[Command]:
         """Let the tenants' groups know of versions, time go on, and the capacity be what this gateway
@@ -866,20 +890,20 @@
             reserve = view.load.get("reserve", 1.0 / max(len(view.halls), 2))
             made.append(
                 SetCapacity(
-                    id=f"capacity/{self.stated}",
-                    units=units,
-                    reserve=reserve,
-                    floor=view.load.get("floor", OTHERS_FLOOR * units),
+                    id=f"capacity/{self.capacity_revision}",
+                    capacity=units,
+                    reserve_fraction=reserve,
+                    unreserved_rate=view.load.get("floor", OTHERS_FLOOR * units),
                 )
             )
-        if any(self._due(view.wall, one) is not None for one in self.held.values()):
+        if any(self._due(view.wall, one) is not None for one in self.contracts.values()):
             made.append(AdvanceContracts(id="pass"))
         wanted = {
             f"open/{one.name}/{version.number}": (one.name, version)
-            for one in self.held.values()
+            for one in self.contracts.values()
             if one.state not in (S.SETTLED, S.REFUSED)
             for version in one.versions
-            if version.number > one.told
+            if version.number > one.confirmed_version
         }
         for asked in due(self._asked, wanted, view.now):
             name, last = wanted[asked]
@@ -891,8 +915,8 @@
                     version=last.number,
                     rate=last.terms.rate,
                     burst=last.terms.burst,
-                    times=tuple(last.times),
-                    holds_from_ms=last.holds_from,
+                    intervals=tuple(last.intervals),
+                    effective_from_ms=last.effective_from_ms,
                 )
             )
         return made
@@ -906,17 +930,17 @@
             "contract": one.name,
             "tenant": last.tenant,
             "rank": last.rank,
-            "hall": last.hall,
+            "hall": last.zone,
             "surplus": last.surplus,
-            "told": one.told,
+            "told": one.confirmed_version,
             "versions": [
                 {
                     "version": v.number,
                     "customers": list(v.terms.customers),
                     "rate": v.terms.rate,
                     "burst": v.terms.burst,
-                    "times": [list(span) for span in v.times],
-                    "holds_from_ms": v.holds_from,
+                    "times": [list(span) for span in v.intervals],
+                    "holds_from_ms": v.effective_from_ms,
                 }
                 for v in one.versions
             ],
@@ -927,45 +951,51 @@
             "contract": one.name,
             "state": one.state.value,
             "version": one.newest.number,
-            "told": one.told,
-            "holds_from_ms": one.newest.holds_from,
+            "told": one.confirmed_version,
+            "holds_from_ms": one.newest.effective_from_ms,
             "terms": msgspec.to_builtins(one.newest.terms),
             "cancelled": one.cancelled,
-            "since_ms": one.since_ms,
-            "short": {cause: sum(by.values()) for cause, by in one.short.items()},
+            "since_ms": one.shortfall_since_ms,
+            "short": {cause: sum(by.values()) for cause, by in one.shortfalls.items()},
         }
 
     def dump(self) -> Any:
         """See badgeryoke.cluster.state_machine.part."""
-        figures, counts = [self.capacity, self.reserve, self.floor], [self.made, self.stated, self.known]
+        figures, counts = (
+            [self.capacity, self.reserve_fraction, self.unreserved_rate],
+            [self.last_version, self.capacity_revision, self.revision],
+        )
         return [
             figures,
-            self.halls,
+            self.zones,
             counts,
             self._booked,
             [
                 [
                     one.name,
                     one.state.value,
-                    one.told,
+                    one.confirmed_version,
                     one.cancelled,
-                    one.short,
-                    one.since_ms,
-                    one.last_short_ms,
-                    [[v.number, msgspec.to_builtins(v.terms), v.times, v.holds_from] for v in one.versions],
+                    one.shortfalls,
+                    one.shortfall_since_ms,
+                    one.last_shortfall_ms,
+                    [
+                        [v.number, msgspec.to_builtins(v.terms), v.intervals, v.effective_from_ms]
+                        for v in one.versions
+                    ],
                 ]
-                for one in self.held.values()
+                for one in self.contracts.values()
             ],
         ]
 
     def load(self, raw: Any) -> None:
         """See badgeryoke.cluster.state_machine.part."""
-        figures, self.halls, counts, self._booked, held = raw
-        self.capacity, self.reserve, self.floor = figures
-        self.made, self.stated, self.known = counts
-        self.held, self._asked = {}, {}
+        figures, self.zones, counts, self._booked, held = raw
+        self.capacity, self.reserve_fraction, self.unreserved_rate = figures
+        self.last_version, self.capacity_revision, self.revision = counts
+        self.contracts, self._asked = {}, {}
         for name, state, told, cancelled, short, since, last, versions in held:
-            self.held[name] = Contract(
+            self.contracts[name] = Contract(
                 name,
                 [
                     ContractVersion(
@@ -1006,64 +1036,64 @@
     one, what was due may be drawn later, from buckets that others had not used up, by the burst at the
     most and what waits."""
 
-    told: dict[int, dict[str, tuple[float, float]]] = field(default_factory=dict)  # not compared yet
-    due: dict[int, float] = field(default_factory=dict)  # of slices that were, COARSE of them together
-    level: float = -1.0
-    last: int = 0
-    owed: float = 0.0  # due and not drawn, in this busy time
-    gone: float = 0.0  # of that, counted short already
-    short: float = 0.0
-    begun: int = 0  # the first slice of this busy time
+    open_slices: dict[int, dict[str, tuple[float, float]]] = field(default_factory=dict)  # not compared yet
+    due_by_bin: dict[int, float] = field(default_factory=dict)  # of slices that were, COARSE of them together
+    bucket_level: float = -1.0
+    last_slice: int = 0
+    undrawn: float = 0.0  # due and not drawn, in this busy time
+    written_off: float = 0.0  # of that, counted short already
+    shortfall: float = 0.0
+    busy_since_slice: int = 0  # the first slice of this busy time
 
-    def note(self, by: str, slices: Iterable[tuple[int, float, float]], rate: float, newest: int) -> None:
+    def record(self, by: str, slices: Iterable[tuple[int, float, float]], rate: float, newest: int) -> None:
         """Take in what one gateway tells.  Late, it is due as far as the rate of that time was not asked
         for elsewhere; what it drew in a busy time that is not over was not there for others, who were due
         it in its place."""
         owed = 0.0
         for at, asked, drawn in slices:
-            if at <= self.last:
+            if at <= self.last_slice:
                 if at > newest - KEPT_SLICES:
                     bin_ = at // COARSE
-                    before = self.due.get(bin_, 0.0)
+                    before = self.due_by_bin.get(bin_, 0.0)
                     late = min(asked, max(rate * COARSE * SLICE_MS / 1000.0 - before, 0.0))
-                    self.due[bin_] = before + late
-                    if at >= self.begun:
-                        self.owed += late - drawn
+                    self.due_by_bin[bin_] = before + late
+                    if at >= self.busy_since_slice:
+                        self.undrawn += late - drawn
                     else:
                         owed += late - drawn
             elif at <= newest + AHEAD_SLICES:
-                self.told.setdefault(at, {})[by] = asked, drawn
-        self.short += max(owed, 0.0)
+                self.open_slices.setdefault(at, {})[by] = asked, drawn
+        self.shortfall += max(owed, 0.0)
 
     def settle(self, upto: int, rate: float, burst: float) -> None:
         """Compare slices up to there."""
-        if len(self.told) > MOST_OPEN:
-            upto = max(upto, sorted(self.told)[MOST_OPEN // 2])
-        for at in sorted(at for at in self.told if at <= upto):
-            if (at - self.last) * SLICE_MS > REST_MS:
+        if len(self.open_slices) > MOST_OPEN:
+            upto = max(upto, sorted(self.open_slices)[MOST_OPEN // 2])
+        for at in sorted(at for at in self.open_slices if at <= upto):
+            if (at - self.last_slice) * SLICE_MS > BUSY_PERIOD_GAP_MS:
                 self._rest()
-                self.begun = at
-            filled = rate * SLICE_MS * (at - self.last) / 1000.0
-            self.level = burst if self.level < 0.0 else min(self.level + filled, burst)
-            self.last = at
-            for asked, drawn in self.told.pop(at).values():
-                due = min(asked, self.level)
-                self.level = max(self.level - due, 0.0)
-                self.owed += due - drawn
-                self.due[at // COARSE] = self.due.get(at // COARSE, 0.0) + due
-            never = self.owed - burst - rate * LONGEST_WAIT_MS / 1000.0
-            if never > self.gone:
-                self.short, self.gone = self.short + never - self.gone, never
-        if (upto - self.last) * SLICE_MS > REST_MS:
+                self.busy_since_slice = at
+            filled = rate * SLICE_MS * (at - self.last_slice) / 1000.0
+            self.bucket_level = burst if self.bucket_level < 0.0 else min(self.bucket_level + filled, burst)
+            self.last_slice = at
+            for asked, drawn in self.open_slices.pop(at).values():
+                due = min(asked, self.bucket_level)
+                self.bucket_level = max(self.bucket_level - due, 0.0)
+                self.undrawn += due - drawn
+                self.due_by_bin[at // COARSE] = self.due_by_bin.get(at // COARSE, 0.0) + due
+            never = self.undrawn - burst - rate * MAX_WAIT_MS / 1000.0
+            if never > self.written_off:
+                self.shortfall, self.written_off = self.shortfall + never - self.written_off, never
+        if (upto - self.last_slice) * SLICE_MS > BUSY_PERIOD_GAP_MS:
             self._rest()
-        for bin_ in [bin_ for bin_ in self.due if bin_ < (upto - KEPT_SLICES) // COARSE]:
-            del self.due[bin_]
+        for bin_ in [bin_ for bin_ in self.due_by_bin if bin_ < (upto - KEPT_SLICES) // COARSE]:
+            del self.due_by_bin[bin_]
 
     def _rest(self) -> None:
         """Nothing was asked for: what is owed now was never drawn."""
-        self.short += max(self.owed - self.gone, 0.0)
-        self.owed = self.gone = 0.0
-        self.begun = self.last + 1
+        self.shortfall += max(self.undrawn - self.written_off, 0.0)
+        self.undrawn = self.written_off = 0.0
+        self.busy_since_slice = self.last_slice + 1
 
 
 @dataclass(slots=True)
@@ -1073,41 +1103,45 @@
     tenant: str
     version: int
     rate: float
-    times: list[Span]
-    parts: LeasePool
-    coming: OpenContract | None = None
-    switch: int = 0  # the last lease's number when this version came into force
+    intervals: list[Span]
+    pool: LeasePool
+    pending: OpenContract | None = None
+    last_lease_before: int = 0  # the last lease's number when this version came into force
     answers: dict[MemberId, tuple[str, Any]] = field(
         default_factory=dict
     )  # the last call of each holder, for a repeat
-    orders: dict[MemberId, dict[str, int]] = field(
+    sequences: dict[MemberId, dict[str, int]] = field(
         default_factory=dict
     )  # of calls taken: by process, the newest one last
     tally: UsageTally = field(default_factory=UsageTally)
 
-    def stale(self, command: RequestLease) -> bool:
+    def is_stale(self, command: RequestLease) -> bool:
         """Whether a later call of that holder was taken already.  A holder that was forgotten, which is
         one that held nothing for longest, begins anew; so does the fifth process before this one, which no
         call outlives.  Order 0 is none."""
-        if not command.order:
+        if not command.sequence:
             return False
-        known = self.orders.pop(command.holder, {})
+        known = self.sequences.pop(command.holder, {})
         stale = command.process in known and (
-            command.process != next(reversed(known)) or command.order <= known[command.process]
+            command.process != next(reversed(known)) or command.sequence <= known[command.process]
         )
         if not stale:
-            known[command.process] = command.order
+            known[command.process] = command.sequence
             if len(known) > MOST_PROCESSES:
                 del known[next(iter(known))]
-        self.orders[command.holder] = known
-        if len(self.orders) > MOST_HOLDERS:
-            del self.orders[next((who for who in self.orders if who not in self.parts.held), command.holder)]
+        self.sequences[command.holder] = known
+        if len(self.sequences) > MAX_HOLDERS:
+            del self.sequences[
+                next((who for who in self.sequences if who not in self.pool.leases), command.holder)
+            ]
         return stale
 
-    def through(self) -> bool:
+    def drained(self) -> bool:
         """Whether no lease of a version before is left."""
-        held = self.parts.held.values()
-        return self.parts.granted() <= self.parts.aim + 1e-6 and all(one.number > self.switch for one in held)
+        held = self.pool.leases.values()
+        return self.pool.granted() <= self.pool.target + 1e-6 and all(
+            one.number > self.last_lease_before for one in held
+        )
 
 
 class GuaranteedRates:
@@ -1115,9 +1149,9 @@
 
     def __init__(self, timings: Timings, rules: Invariants) -> None:
         self._timings, self._rules = timings, rules
-        self.held: dict[str, GuaranteedRate] = {}
+        self.contracts: dict[str, GuaranteedRate] = {}
         # number of the last lease of any contract: one that comes back does not begin at 1 again
-        self.last = 0
+        self.last_lease_number = 0
         self._told: dict[str, tuple[float, float]] = {}
         self._shorts: dict[str, tuple[float, float]] = {}
         self._fresh: set[str] = set()  # with leases that no clock has seen yet
@@ -1128,13 +1162,13 @@
             return ApplyResult(error=InvalidCall(command.contract, said))
         if isinstance(command, OpenContract):
             return self._open(at_ms, command)
-        found = self.held.get(command.contract)
+        found = self.contracts.get(command.contract)
         if found is None:
             return ApplyResult(error=NotFound(command.contract, "no such contract is open here"))
         self._turn(at_ms, found)
-        found.parts.accrue(at_ms)
+        found.pool.accrue(at_ms)
         if isinstance(command, ReleaseLease):
-            ended = found.parts.end(command.holder, command.number)
+            ended = found.pool.release(command.holder, command.lease_number)
             if ended:
                 found.answers.pop(command.holder, None)
             return ApplyResult(ended)
@@ -1142,114 +1176,118 @@
             return self._lease(at_ms, found, command)
         if isinstance(command, ReportUsage):
             newest = int(at_ms // SLICE_MS)
-            found.tally.note(command.by, command.slices, found.rate, newest)
-            found.tally.settle(newest - SETTLED_SLICES, found.rate, found.parts.depth)
+            found.tally.record(command.reporter, command.slices, found.rate, newest)
+            found.tally.settle(newest - SETTLED_SLICES, found.rate, found.pool.depth)
             return ApplyResult()
         if isinstance(command, SwitchVersion):
-            if found.tally.told or found.tally.owed:
-                found.tally.settle(int(at_ms // SLICE_MS) - SETTLED_SLICES, found.rate, found.parts.depth)
+            if found.tally.open_slices or found.tally.undrawn:
+                found.tally.settle(int(at_ms // SLICE_MS) - SETTLED_SLICES, found.rate, found.pool.depth)
             return ApplyResult(found.version)
         return ApplyResult(error=InvalidCall("floors", f"unknown command {command.command_name()}"))
 
     def _open(self, at_ms: float, command: OpenContract) -> ApplyResult:
-        for name in [name for name, one in self.held.items() if self._past(at_ms, one)]:
-            del self.held[name]
-        found = self.held.get(command.contract)
+        for name in [name for name, one in self.contracts.items() if self._past(at_ms, one)]:
+            del self.contracts[name]
+        found = self.contracts.get(command.contract)
         if found is None:
-            if len(self.held) >= MOST_FLOORS:
+            if len(self.contracts) >= MOST_FLOORS:
                 return ApplyResult(
                     error=Overloaded(command.contract, f"{MOST_FLOORS} contracts are open in this group")
                 )
-            found = self.held[command.contract] = GuaranteedRate(
-                command.tenant, 0, 0.0, [], LeasePool(0.0, 0.0, even=False)
+            found = self.contracts[command.contract] = GuaranteedRate(
+                command.tenant, 0, 0.0, [], LeasePool(0.0, 0.0, even_split=False)
             )
         self._turn(at_ms, found)
         if command.version > found.version:
-            if at_ms >= command.holds_from_ms:
+            if at_ms >= command.effective_from_ms:
                 self._take(found, command)
-            elif found.coming is None or command.version > found.coming.version:
-                found.coming = command
+            elif found.pending is None or command.version > found.pending.version:
+                found.pending = command
         return ApplyResult(found.version)
 
     def _past(self, at_ms: float, one: GuaranteedRate) -> bool:
         """Whether the last window is over and the last lease as well."""
-        last = one.times[-1][1] if one.times else 0.0
-        return one.coming is None and not one.parts.held and at_ms > last + 10 * self._timings.outlast()
+        last = one.intervals[-1][1] if one.intervals else 0.0
+        return one.pending is None and not one.pool.leases and at_ms > last + 10 * self._timings.outlast()
 
     def _turn(self, at_ms: float, one: GuaranteedRate) -> None:
         """A version that is coming holds from its moment."""
-        if one.coming is not None and at_ms >= one.coming.holds_from_ms:
-            self._take(one, one.coming)
+        if one.pending is not None and at_ms >= one.pending.effective_from_ms:
+            self._take(one, one.pending)
 
     def _take(self, one: GuaranteedRate, opened: OpenContract) -> None:
         first = one.version == 0
-        one.version, one.rate, one.times, one.tenant = (
+        one.version, one.rate, one.intervals, one.tenant = (
             opened.version,
             opened.rate,
-            list(opened.times),
+            list(opened.intervals),
             opened.tenant,
         )
-        one.parts.resize(opened.rate if opened.times else 0.0, opened.burst)
+        one.pool.resize(opened.rate if opened.intervals else 0.0, opened.burst)
         if first:
-            one.parts.free = opened.burst
-        if one.coming is not None and one.coming.version <= opened.version:
-            one.coming = None
-        one.switch = self.last
+            one.pool.free_units = opened.burst
+        if one.pending is not None and one.pending.version <= opened.version:
+            one.pending = None
+        one.last_lease_before = self.last_lease_number
 
     def _lease(self, at_ms: float, found: GuaranteedRate, command: RequestLease) -> ApplyResult:
         known = found.answers.get(command.holder)
         if known is not None and known[0] == command.id:
             return ApplyResult(known[1])
-        if found.stale(command):
+        if found.is_stale(command):
             return ApplyResult(
                 error=LeaseExpired(command.holder, "a later call of this holder was taken already")
             )
-        span = next((span for span in found.times if span[0] - EARLY_MS <= at_ms < span[1]), None)
+        span = next((span for span in found.intervals if span[0] - GRANT_AHEAD_MS <= at_ms < span[1]), None)
         # Outside of a window nothing is granted; what a holder says that it keeps counts until it is told
         # better.
-        wish, soft = (min(command.wish, found.parts.aim), command.soft) if span is not None else (0.0, False)
-        found.parts.last = self.last
-        given = found.parts.ask(
+        wish, soft = (
+            (min(command.wanted_rate, found.pool.target), command.takes_spare)
+            if span is not None
+            else (0.0, False)
+        )
+        found.pool.last_number = self.last_lease_number
+        given = found.pool.request(
             command.holder,
-            command.number,
-            command.keep,
+            command.lease_number,
+            command.kept_rate,
             wish,
-            command.room,
+            command.returned_units,
             self._rules,
-            command.hold,
-            command.need,
+            command.kept_depth,
+            command.wanted_units,
             soft,
-            command.least,
-            command.pulls,
+            command.min_depth,
+            command.draws_per_request,
         )
         if not isinstance(given, LeaseGrant):
             return ApplyResult(error=given)
         if given.number:
             self._rules.check(
                 Rule.LEASE_ONCE,
-                given.number > self.last,
+                given.number > self.last_lease_number,
                 lambda: f"{command.contract}: lease {given.number} was given before",
             )
-            self.last = given.number
+            self.last_lease_number = given.number
             self._fresh.add(command.contract)
         until, then = self._until(found, span) if span is not None else (0.0, 0.0)
         value = {
             "number": given.number,
-            "part": given.part,
-            "room": given.room,
-            "cap": given.cap,
-            "fair": given.fair,
-            "most": given.most,
-            "lack": given.lack,
-            "fair_cap": given.fair_cap,
-            "spare": given.spare,
+            "part": given.share,
+            "room": given.units,
+            "cap": given.depth,
+            "fair": given.fair_share,
+            "most": given.max_share,
+            "lack": given.others_deficit,
+            "fair_cap": given.fair_depth,
+            "spare": given.slack,
             "holders": given.holders,
             "version": found.version,
             "from_ms": span[0] if span is not None else 0.0,
             "until_ms": until,
             "then": then,
             "at_ms": at_ms,
-            "free": found.parts.free,
+            "free": found.pool.free_units,
         }
         if given.number:
             found.answers[command.holder] = command.id, value
@@ -1261,11 +1299,11 @@
     def _until(found: GuaranteedRate, span: Span) -> tuple[float, float]:
         """The moment at which a lease changes by itself, and by what factor: a window's end, or a
         version's moment."""
-        coming = found.coming
-        if coming is None or coming.holds_from_ms >= span[1]:
+        coming = found.pending
+        if coming is None or coming.effective_from_ms >= span[1]:
             return span[1], 0.0
-        at = coming.holds_from_ms
-        on = any(begin <= at < end for begin, end in coming.times)
+        at = coming.effective_from_ms
+        on = any(begin <= at < end for begin, end in coming.intervals)
         return at, min(coming.rate / found.rate, 1.0) if on else 0.0
 
     def leader_tasks(self, view: LeaderView) -> list[Command]:
@@ -1273,43 +1311,43 @@
         self.seen(view.now)
         made: list[Command] = [
             ReleaseLease(
-                id=f"end/{name}/{number}", tenant=one.tenant, contract=name, holder=who, number=number
+                id=f"end/{name}/{number}", tenant=one.tenant, contract=name, holder=who, lease_number=number
             )
-            for name, one in self.held.items()
-            for who, number in one.parts.over(view.now, self._timings.outlast(), view.lead_since)
+            for name, one in self.contracts.items()
+            for who, number in one.pool.expired(view.now, self._timings.outlast(), view.lead_since)
         ]
         wanted = {
             f"told/{name}/{one.version}": (name, one)
-            for name, one in self.held.items()
-            if one.version and one.through()
+            for name, one in self.contracts.items()
+            if one.version and one.drained()
         }
         made += [
             VersionDrained(id=asked, contract=wanted[asked][0], version=wanted[asked][1].version)
             for asked in due(self._told, wanted, view.now)
         ]
-        for one in self.held.values():  # a version whose moment has come, though nobody asks for a part
-            if one.coming is not None and view.wall >= one.coming.holds_from_ms:
-                made.append(SwitchVersion(id="turn", tenant=one.tenant, contract=one.coming.contract))
-        over = int((view.wall - REST_MS) // SLICE_MS) - SETTLED_SLICES
+        for one in self.contracts.values():  # a version whose moment has come, though nobody asks for a part
+            if one.pending is not None and view.wall >= one.pending.effective_from_ms:
+                made.append(SwitchVersion(id="turn", tenant=one.tenant, contract=one.pending.contract))
+        over = int((view.wall - BUSY_PERIOD_GAP_MS) // SLICE_MS) - SETTLED_SLICES
         made += [
             SwitchVersion(id="tally", tenant=one.tenant, contract=name)
-            for name, one in self.held.items()
-            if (one.tally.owed > EDGE and over > one.tally.last)
-            or (one.tally.told and over > min(one.tally.told))
+            for name, one in self.contracts.items()
+            if (one.tally.undrawn > EPSILON and over > one.tally.last_slice)
+            or (one.tally.open_slices and over > min(one.tally.open_slices))
         ]
         shorts = {
-            f"short/{name}/{one.tally.short:.3f}": (name, one)
-            for name, one in self.held.items()
-            if one.tally.short > EDGE
+            f"short/{name}/{one.tally.shortfall:.3f}": (name, one)
+            for name, one in self.contracts.items()
+            if one.tally.shortfall > EPSILON
         }
         made += [
             ReportShortfall(
                 id=asked,
                 contract=shorts[asked][0],
-                by="-",
+                reporter="-",
                 cause=NO_LEASE,
-                units=shorts[asked][1].tally.short,
-                since_ms=shorts[asked][1].tally.last * SLICE_MS,
+                units=shorts[asked][1].tally.shortfall,
+                since_ms=shorts[asked][1].tally.last_slice * SLICE_MS,
             )
             for asked in due(self._shorts, shorts, view.now)
         ]
@@ -1318,58 +1356,58 @@
     def seen(self, now: float) -> None:
         """See badgeryoke.cluster.state_machine.part."""
         for name in self._fresh:
-            if name in self.held:
-                self.held[name].parts.seen(now)
+            if name in self.contracts:
+                self.contracts[name].pool.mark_seen(now)
         self._fresh.clear()
 
-    def told(self) -> dict[str, Any]:
+    def status(self) -> dict[str, Any]:
         """For operators: what is granted of each contract, to how many."""
         return {
             name: {
                 "version": one.version,
                 "rate": one.rate,
-                "granted": one.parts.granted(),
-                "holders": len(one.parts.held),
+                "granted": one.pool.granted(),
+                "holders": len(one.pool.leases),
             }
-            for name, one in self.held.items()
+            for name, one in self.contracts.items()
         }
 
     def dump(self) -> Any:
         """See badgeryoke.cluster.state_machine.part."""
         return [
-            self.last,
+            self.last_lease_number,
             [
                 [
                     name,
                     one.tenant,
                     one.version,
                     one.rate,
-                    one.times,
-                    one.parts.dump(),
-                    msgspec.to_builtins(one.coming),
-                    one.switch,
+                    one.intervals,
+                    one.pool.dump(),
+                    msgspec.to_builtins(one.pending),
+                    one.last_lease_before,
                     one.answers,
-                    one.orders,
+                    one.sequences,
                     [
-                        [[at, by] for at, by in one.tally.told.items()],
-                        list(one.tally.due.items()),
-                        one.tally.level,
-                        one.tally.last,
-                        one.tally.owed,
-                        one.tally.gone,
-                        one.tally.short,
-                        one.tally.begun,
+                        [[at, by] for at, by in one.tally.open_slices.items()],
+                        list(one.tally.due_by_bin.items()),
+                        one.tally.bucket_level,
+                        one.tally.last_slice,
+                        one.tally.undrawn,
+                        one.tally.written_off,
+                        one.tally.shortfall,
+                        one.tally.busy_since_slice,
                     ],
                 ]
-                for name, one in self.held.items()
+                for name, one in self.contracts.items()
             ],
         ]
 
     def load(self, raw: Any) -> None:
         """See badgeryoke.cluster.state_machine.part."""
-        self.last, self.held, self._told, self._shorts = raw[0], {}, {}, {}
+        self.last_lease_number, self.contracts, self._told, self._shorts = raw[0], {}, {}, {}
         for name, tenant, version, rate, times, parts, coming, switch, answers, orders, tally in raw[1]:
-            self.held[name] = GuaranteedRate(
+            self.contracts[name] = GuaranteedRate(
                 tenant,
                 version,
                 rate,
@@ -1385,4 +1423,4 @@
                     *tally[2:],
                 ),
             )
-        self._fresh = set(self.held)
+        self._fresh = set(self.contracts)
--- a/badgeryoke/cluster/reservations/lease_client.py
+++ b/badgeryoke/cluster/reservations/lease_client.py
@@ -29,12 +29,12 @@
 from typing import Any
 
 from badgeryoke.cluster.errors import ClusterError, InvalidCall, LeaseExpired, NotFound
-from badgeryoke.cluster.leases.lease_pool import EDGE, STANDBY
+from badgeryoke.cluster.leases.lease_pool import EPSILON, STANDBY
 from badgeryoke.cluster.messages import MemberId
 from badgeryoke.cluster.reservations.contract import (
     COARSE,
-    EARLY_MS,
-    LONGEST_WAIT_MS,
+    GRANT_AHEAD_MS,
+    MAX_WAIT_MS,
     MOST_TOLD,
     SLICE_MS,
     PollContracts,
@@ -70,7 +70,6 @@
 SLIGHT = 0.1  # of the rate: above what others leave by so much, a part in use is given back at once
 REST_MS = 1000.0  # without a request until a part is shared out evenly for lending
 LOOK_MS = 250.0  # without a request while it looks often whether the traffic has come up elsewhere
-WAIT_MS = LONGEST_WAIT_MS  # for its turn, of a request that finds no room
 QUEUE_MS = 200.0  # of a part: so much waits, as long as nothing is lacking
 MOST_WAITING = 1024
 FULL = 0.3  # of a bucket in use: units above go to others
@@ -98,26 +97,28 @@
     count: float = 0.0
     at: float = 0.0
     born: float = 0.0
-    last: float = -math.inf
-    seen: int = 0
+    last_ms: float = -math.inf
+    requests: int = 0
     largest: float = 0.0  # request, of late: the bucket has to hold one
-    mean: float = 0.0  # ms between requests, as of the last
+    mean_gap_ms: float = 0.0  # ms between requests, as of the last
 
     def note(self, now: float, units: float) -> None:
-        if now > self.last + max(REST_MS, 4.0 * self.mean):  # what came before says nothing any more
+        if now > self.last_ms + max(
+            REST_MS, 4.0 * self.mean_gap_ms
+        ):  # what came before says nothing any more
             self.fast = self.slow = self.count = 0.0
             self.born = self.at = now
-            self.seen = 0
+            self.requests = 0
         self._fade(now)
-        self.fast, self.slow, self.count, self.last = (
+        self.fast, self.slow, self.count, self.last_ms = (
             self.fast + units,
             self.slow + units,
             self.count + 1.0,
             now,
         )
-        self.seen += 1
+        self.requests += 1
         self.largest = max(units, 0.99 * self.largest)
-        self.mean = SLOW_MS * self._whole(SLOW_MS) / self.count
+        self.mean_gap_ms = SLOW_MS * self._whole(SLOW_MS) / self.count
 
     def _fade(self, now: float) -> None:
         since, self.at = now - self.at, now
@@ -125,23 +126,25 @@
         self.slow *= math.exp(-since / SLOW_MS)
         self.count *= math.exp(-since / SLOW_MS)
 
-    def gone(self, now: float, gaps: float = 0.0) -> bool:
+    def has_stopped(self, now: float, gaps: float = 0.0) -> bool:
         """Nothing came for so many times the mean gap between requests."""
         gaps = gaps or GONE_GAPS
-        return now - self.last > min(max(gaps * self.mean, GAP_LEAST_MS * gaps / QUIET_GAPS), GAP_MOST_MS)
+        return now - self.last_ms > min(
+            max(gaps * self.mean_gap_ms, GAP_LEAST_MS * gaps / QUIET_GAPS), GAP_MOST_MS
+        )
 
     def _whole(self, tau: float) -> float:
         """The part of an average's weight that lies behind its birth."""
         return 1.0 - math.exp(-max(self.at - self.born, YOUNG_MS) / tau)
 
     def rate(self, now: float) -> float:
-        if self.seen < 2:  # one request alone tells nothing
+        if self.requests < 2:  # one request alone tells nothing
             return 0.0
         self._fade(now)
         fast = self.fast / (FAST_MS * self._whole(FAST_MS)) * 1000.0
         slow = self.slow / (SLOW_MS * self._whole(SLOW_MS)) * 1000.0
         unit = self.slow / self.count
-        spread = math.sqrt(max(slow, EDGE) * unit * 1000.0 / (2.0 * FAST_MS))
+        spread = math.sqrt(max(slow, EPSILON) * unit * 1000.0 / (2.0 * FAST_MS))
         return slow if abs(fast - slow) <= 3.0 * spread else fast
 
 
@@ -154,26 +157,26 @@
     rank: int
     facts: dict[str, Any]
     customers: list[tuple[float, frozenset[int]]]  # from a moment on
-    number: int = 0
-    part: float = 0.0  # units a second
-    cap: float = 0.0
+    lease_number: int = 0
+    share: float = 0.0  # units a second
+    depth: float = 0.0
     level: float = 0.0  # units in the bucket
-    filled: float = 0.0  # up to when
-    ends: float = -math.inf  # monotonic
+    filled_ms: float = 0.0  # up to when
+    expires_ms: float = -math.inf  # monotonic
     from_ms: float = 0.0  # Unix ms
     until_ms: float = 0.0
-    then: float = 0.0
-    fair: float = 0.0
+    later_fraction: float = 0.0
+    fair_share: float = 0.0
     moved: float = -math.inf  # when `fair` last became another: the traffic is on its way here or elsewhere
-    most: float = 0.0
-    lack: float = 0.0
-    fair_cap: float = 0.0
+    max_share: float = 0.0
+    others_deficit: float = 0.0
+    fair_depth: float = 0.0
     holders: int = 0
-    wish: float = 0.0
-    pulls: bool = True  # requests are so few that units are drawn for each, and no part is held
-    out: RequestLease | None = None
-    asked: float = 0.0  # when `out` was made first
-    again: float = math.inf  # when to make it again
+    wanted_rate: float = 0.0
+    draws_per_request: bool = True  # requests are so few that units are drawn for each, and no part is held
+    pending: RequestLease | None = None
+    requested_ms: float = 0.0  # when `out` was made first
+    retry_ms: float = math.inf  # when to make it again
     sent: float = -math.inf
     refused: int = 0  # times in a row that its lease was over
     pause: float = URGENT_MS
@@ -186,9 +189,9 @@
     group: float = math.nan  # the group's time less `now`; by `wall` until it has answered
     doubt: float = math.inf  # ms by which that may be wrong, as of `stamped`
     stamped: float = 0.0
-    took: float = 0.0  # ms, of the last call for a part
+    call_ms: float = 0.0  # ms, of the last call for a part
     drawn: float = 0.0
-    short: dict[str, float] = field(default_factory=dict)
+    shortfalls: dict[str, float] = field(default_factory=dict)
     told: dict[str, float] = field(default_factory=dict)
     since: dict[str, float] = field(default_factory=dict)
     report: float = 0.0  # when slices are told next
@@ -199,7 +202,7 @@
         for version in reversed(self.facts["versions"]):
             if wall >= version["holds_from_ms"]:
                 for begin, end in version["times"]:
-                    if begin - EARLY_MS <= wall < end:
+                    if begin - GRANT_AHEAD_MS <= wall < end:
                         return begin, end
                 return None
         return None
@@ -207,15 +210,16 @@
     def rate(self, wall: float) -> float:
         """Of the contract, units a second."""
         return next(
-            (float(v["rate"]) for v in reversed(self.facts["versions"]) if wall >= v["holds_from_ms"]), EDGE
+            (float(v["rate"]) for v in reversed(self.facts["versions"]) if wall >= v["holds_from_ms"]),
+            EPSILON,
         )
 
     def draw(self, now: float, wall: float, units: float, noted: list[float]) -> bool:
         """Take units from the bucket, if they are there.  `noted`: the slice in which they were asked for."""
         # Without its due part yet, the bucket has to last until that comes: no faster than the contract's
         # rate.
-        paced = self.part <= 0.0 or self.lacks(self.wish)
-        if self.level < units - EDGE or (paced and now < self.paced):
+        paced = self.share <= 0.0 or self.lacks(self.wanted_rate)
+        if self.level < units - EPSILON or (paced and now < self.paced):
             return False
         self.paced = max(self.paced, now - PACED_MS) + units / self.rate(wall) * 1000.0
         self.level -= units
@@ -240,7 +244,7 @@
         """Cut off for long: take older slices together, but for those in which requests may wait yet; drop
         the oldest where that is not enough, which are told by nobody."""
         kept = self.slices
-        recent = next(reversed(kept)) - int((WAIT_MS + LATE_TURN_MS) // SLICE_MS)
+        recent = next(reversed(kept)) - int((MAX_WAIT_MS + LATE_TURN_MS) // SLICE_MS)
         self.slices = {}
         for number, (asked, drawn) in [item for item in kept.items() if item[0] <= recent]:
             one = self.slices.setdefault(number // COARSE * COARSE, [0.0, 0.0])
@@ -251,12 +255,12 @@
 
     def count(self, cause: str, units: float, wall: float) -> None:
         """Units short."""
-        self.short[cause] = self.short.get(cause, 0.0) + units
+        self.shortfalls[cause] = self.shortfalls.get(cause, 0.0) + units
         self.since.setdefault(cause, wall)
 
     def fits(self, units: float) -> bool:
         """Whether a request can have its turn in this bucket, or may in one that is yet to come."""
-        return units <= max(self.cap, self.burst()) + EDGE
+        return units <= max(self.depth, self.burst()) + EPSILON
 
     def queued(self) -> float:
         """Units that wait."""
@@ -268,24 +272,26 @@
 
     def lacks(self, wish: float) -> bool:
         """Whether it has less than its due."""
-        return not self.pulls and self.part < min(self.fair, wish) * (1.0 - SLIGHT) - EDGE
+        return (
+            not self.draws_per_request and self.share < min(self.fair_share, wish) * (1.0 - SLIGHT) - EPSILON
+        )
 
     def fill(self, now: float, wall: float) -> None:
         """Bring the bucket up to now; a part ends by itself with its lease, its window, or its version."""
-        if now <= self.filled:
+        if now <= self.filled_ms:
             return
-        end = min(now, self.ends)
-        begin = min(max(self.filled, now + self.from_ms - wall), end)
+        end = min(now, self.expires_ms)
+        begin = min(max(self.filled_ms, now + self.from_ms - wall), end)
         turn = min(max(now + self.until_ms - wall, begin), end)
-        old = self.part
+        old = self.share
         if wall >= self.until_ms and self.until_ms < math.inf:
-            self.part, self.cap = self.part * self.then, self.cap * self.then
+            self.share, self.depth = self.share * self.later_fraction, self.depth * self.later_fraction
             self.until_ms = math.inf  # it has turned; what holds from here on is asked for at once
-        gained = (old * (turn - begin) + self.part * (end - turn)) / 1000.0
-        self.level = min(self.level + max(gained, 0.0), self.cap)
-        self.filled = now
-        if now >= self.ends:
-            self.part = self.cap = self.level = 0.0
+        gained = (old * (turn - begin) + self.share * (end - turn)) / 1000.0
+        self.level = min(self.level + max(gained, 0.0), self.depth)
+        self.filled_ms = now
+        if now >= self.expires_ms:
+            self.share = self.depth = self.level = 0.0
 
 
 def _nobody() -> None:
@@ -303,8 +309,8 @@
         self, me: MemberId, process: str, timings: Timings, hall: str = "", gateways: int = 1
     ) -> None:
         self._me, self._process, self._timings, self._hall = me, process, timings, hall
-        self.known_ms = max(KNOWN_MS, 10.0 * gateways)
-        self.stakes: dict[str, ContractLease] = {}
+        self.poll_ms = max(KNOWN_MS, 10.0 * gateways)
+        self.leases: dict[str, ContractLease] = {}
         self._of: dict[int, list[ContractLease]] = {}
         self._known, self._look = -1, -math.inf
         self._out: dict[str, Command] = {}  # one call of each key at a time
@@ -329,24 +335,24 @@
 
     def _soon(self, now: float, one: ContractLease) -> None:
         """It asks for more as soon as it may, if it has too little."""
-        if one.out is None and (one.waiting or one.part <= 0.0 or one.lacks(one.wish)):
+        if one.pending is None and (one.waiting or one.share <= 0.0 or one.lacks(one.wanted_rate)):
             due = max(one.sent + one.pause, now)
-            if due < self.due - EDGE:
+            if due < self.due - EPSILON:
                 self.due = due
                 self.wake()
 
     def _calls(self, now: float, wall: float) -> Iterator[Command]:
         busy = set(self._out)
-        for one in sorted(self.stakes.values(), key=lambda stake: stake.sent):
+        for one in sorted(self.leases.values(), key=lambda stake: stake.sent):
             again = (
-                one.out is not None and now >= one.again
+                one.pending is not None and now >= one.retry_ms
             )  # the same call: nothing else of its key goes before it
             if (again or f"t:{one.tenant}" not in busy) and (
                 lease := self._lease(now, wall, one)
             ) is not None:
                 busy.add(lease.key())
                 yield lease
-        for one in self.stakes.values():
+        for one in self.leases.values():
             if (
                 f"t:{one.tenant}#" not in busy
                 and now >= one.report
@@ -357,28 +363,28 @@
                 yield used
         if "" in busy:
             return
-        for one in self.stakes.values():
+        for one in self.leases.values():
             cause = next(
-                (cause for cause, units in one.short.items() if units > one.told.get(cause, 0.0)), None
+                (cause for cause, units in one.shortfalls.items() if units > one.told.get(cause, 0.0)), None
             )
             if cause is not None and now >= one.shorts:
                 one.shorts = now + REPORT_MS
                 yield ReportShortfall(
                     id=self._id(),
                     contract=one.contract,
-                    by=f"{self._me}#{self._process}",
+                    reporter=f"{self._me}#{self._process}",
                     cause=cause,
-                    units=one.short[cause],
+                    units=one.shortfalls[cause],
                     since_ms=one.since[cause],
                 )
                 return
-        if now >= self._look + self.known_ms:
+        if now >= self._look + self.poll_ms:
             self._look = now
-            yield PollContracts(id=self._id(), have=self._known)
+            yield PollContracts(id=self._id(), known_revision=self._known)
 
     def _used(self, now: float, wall: float, one: ContractLease) -> ReportUsage | None:
         """What was asked for and drawn, in slices that are over and can change no more."""
-        last = int((one.time(now, wall) - WAIT_MS - LATE_TURN_MS) // SLICE_MS)
+        last = int((one.time(now, wall) - MAX_WAIT_MS - LATE_TURN_MS) // SLICE_MS)
         told = [(number, asked, drawn) for number, (asked, drawn) in one.slices.items() if number < last][
             :MOST_TOLD
         ]
@@ -387,7 +393,7 @@
                 id=self._id(),
                 tenant=one.tenant,
                 contract=one.contract,
-                by=f"{self._me}#{self._process}",
+                reporter=f"{self._me}#{self._process}",
                 slices=tuple(told),
             )
             if told
@@ -399,48 +405,56 @@
         return f"{self._me}#{self._process}/{self._made}"
 
     def _lease(self, now: float, wall: float, one: ContractLease) -> RequestLease | None:
-        if one.out is not None:
-            if now < one.again:
+        if one.pending is not None:
+            if now < one.retry_ms:
                 return None
-            one.again = now + REPEAT_MS
-            return one.out
+            one.retry_ms = now + REPEAT_MS
+            return one.pending
         one.fill(now, wall)
         times = one.times(wall)
         if times is None:
-            if one.number == 0 or (one.part <= 0.0 and now < one.sent + self._timings.lease_ms / 3.0):
+            if one.lease_number == 0 or (one.share <= 0.0 and now < one.sent + self._timings.lease_ms / 3.0):
                 return None
             return self._ask(now, one, 0.0, 0.0, False, False)  # the window is over: give it back
-        rate, quiet = one.rate(wall), now - one.demand.last
+        rate, quiet = one.rate(wall), now - one.demand.last_ms
         queued = one.queued()
         # The traffic seems to have gone: that is told at once where others have less than their due, else
         # after a rest.
-        gone = quiet >= REST_MS or (one.demand.gone(now) and (one.lack > EDGE or one.wish <= 0.0))
+        gone = quiet >= REST_MS or (
+            one.demand.has_stopped(now) and (one.others_deficit > EPSILON or one.wanted_rate <= 0.0)
+        )
         wish = min(queued if gone else max(one.demand.rate(now), queued), rate)
-        one.pulls = one.took <= PULL_MOST_MS and (one.demand.seen < 3 or one.demand.mean > PULL_GAP_MS)
-        others = one.holders > 1 or one.number == 0
-        uses = max(one.part, wish, one.fair) > EDGE
+        one.draws_per_request = one.call_ms <= PULL_MOST_MS and (
+            one.demand.requests < 3 or one.demand.mean_gap_ms > PULL_GAP_MS
+        )
+        others = one.holders > 1 or one.lease_number == 0
+        uses = max(one.share, wish, one.fair_share) > EPSILON
         regular = BUSY_MS if others and uses else self._timings.lease_ms / 3.0
-        turned = one.until_ms == math.inf and one.number != 0  # its version or window has turned
-        above = one.part - one.most
-        moving = now < one.moved + LOOK_MS and wish * (1.0 - SLIGHT) > one.part
+        turned = one.until_ms == math.inf and one.lease_number != 0  # its version or window has turned
+        above = one.share - one.max_share
+        moving = now < one.moved + LOOK_MS and wish * (1.0 - SLIGHT) > one.share
         urgent = (
             bool(one.waiting)
             or one.lacks(wish)
             or moving
-            or one.wish < FELL * wish
+            or one.wanted_rate < FELL * wish
             or turned
             or above > SLIGHT * rate
-            or one.sent < one.demand.last + REST_MS <= now
-            or (one.demand.gone(now, QUIET_GAPS) and quiet < LOOK_MS and one.part > EDGE)
+            or one.sent < one.demand.last_ms + REST_MS <= now
+            or (one.demand.has_stopped(now, QUIET_GAPS) and quiet < LOOK_MS and one.share > EPSILON)
         )
         when = one.sent + (min(one.pause, regular) if urgent else regular)
         if now < when:
             self.due = min(self.due, when)
             return None
         # What nobody lacks stays where it was last used, and is shared out evenly only after a rest.
-        keep = one.fair if quiet >= REST_MS else one.part - max(above, 0.0) + max(wish - one.wish, 0.0)
+        keep = (
+            one.fair_share
+            if quiet >= REST_MS
+            else one.share - max(above, 0.0) + max(wish - one.wanted_rate, 0.0)
+        )
         return self._ask(
-            now, one, min(one.part, max(keep, 0.0)), wish, quiet >= REST_MS or wish > 0.0, True, urgent
+            now, one, min(one.share, max(keep, 0.0)), wish, quiet >= REST_MS or wish > 0.0, True, urgent
         )
 
     def _ask(
@@ -454,48 +468,52 @@
         urgent: bool = False,
     ) -> RequestLease:
         """Use less from here on, then say so."""
-        hold = min(one.cap, max(one.fair_cap, min(one.level, one.queued()))) if stay else 0.0
+        hold = min(one.depth, max(one.fair_depth, min(one.level, one.queued()))) if stay else 0.0
         standby = one.burst() * STANDBY / (one.holders + 1)
-        pulls = one.pulls and wish > 0.0 and one.holders > 1
+        pulls = one.draws_per_request and wish > 0.0 and one.holders > 1
         least = one.demand.largest if stay and not pulls else 0.0
         room = max(one.level - hold, 0.0)
         if wish > 0.0 and one.holders > 1 and not one.waiting:
             # More comes in than is asked for here, and another may be short.
             room = max(room, one.level - max(FULL * hold if not pulls else 0.0, least), 0.0)
-            hold = min(hold, one.cap - room)
-        elif wish <= 0.0 and one.holders > 1 and one.took <= PULL_MOST_MS:
+            hold = min(hold, one.depth - room)
+        elif wish <= 0.0 and one.holders > 1 and one.call_ms <= PULL_MOST_MS:
             # The traffic is elsewhere, or nowhere: units are where anybody gets them soon, but for some to
             # begin with.
             hold = min(hold, standby)
             room = max(one.level - hold, 0.0)
-        one.part, one.cap, one.level = keep, hold, one.level - room  # from here on `level` is what it keeps
-        changed = not one.wish <= 2.0 * wish <= 4.0 * one.wish
+        one.share, one.depth, one.level = (
+            keep,
+            hold,
+            one.level - room,
+        )  # from here on `level` is what it keeps
+        changed = not one.wanted_rate <= 2.0 * wish <= 4.0 * one.wanted_rate
         one.pause = (
             URGENT_MS if changed or not urgent else min(1.5 * one.pause, PULL_MS if one.waiting else LACKS_MS)
         )
-        one.wish, one.sent, one.asked, one.again = wish, now, now, now + REPEAT_MS
+        one.wanted_rate, one.sent, one.requested_ms, one.retry_ms = wish, now, now, now + REPEAT_MS
         # Units that nobody holds are for whoever has requests waiting; or for one that is alone.
         need = (standby if wish <= 0.0 and stay else one.queued()) - one.level
-        if stay and (one.holders == 1 or one.number == 0):
-            need = max(need, min(hold, one.fair_cap) - one.level)
-        one.out = RequestLease(
+        if stay and (one.holders == 1 or one.lease_number == 0):
+            need = max(need, min(hold, one.fair_depth) - one.level)
+        one.pending = RequestLease(
             id=self._id(),
             tenant=one.tenant,
             contract=one.contract,
             holder=self._me,
-            number=one.number,
-            keep=keep,
-            wish=wish,
-            room=room,
-            hold=hold,
-            need=max(need, 0.0),
-            soft=soft,
-            least=least,
-            pulls=one.pulls,
+            lease_number=one.lease_number,
+            kept_rate=keep,
+            wanted_rate=wish,
+            returned_units=room,
+            kept_depth=hold,
+            wanted_units=max(need, 0.0),
+            takes_spare=soft,
+            min_depth=least,
+            draws_per_request=one.draws_per_request,
             process=self._process,
-            order=self._made,
+            sequence=self._made,
         )
-        return one.out
+        return one.pending
 
     def answered(self, now: float, command: Command, result: ApplyResult | ClusterError) -> None:
         """See badgeryoke.cluster.node_setup.Holder."""
@@ -505,73 +523,77 @@
         value: Any = result.value if isinstance(result, ApplyResult) else None
         if isinstance(command, PollContracts):
             if error is None and "contracts" in value:
-                self._learn(now, value["known"], value["contracts"])
+                self._update_contracts(now, value["known"], value["contracts"])
         elif isinstance(command, ReportUsage):
-            if error is None and command.contract in self.stakes:
+            if error is None and command.contract in self.leases:
                 for number, *_ in command.slices:
-                    self.stakes[command.contract].slices.pop(number, None)
+                    self.leases[command.contract].slices.pop(number, None)
         elif isinstance(command, ReportShortfall):
-            if error is None and command.contract in self.stakes:
-                told = self.stakes[command.contract].told
+            if error is None and command.contract in self.leases:
+                told = self.leases[command.contract].told
                 told[command.cause] = max(told.get(command.cause, 0.0), command.units)
         elif isinstance(command, RequestLease):
-            one = self.stakes.get(command.contract)
-            if one is not None and one.out is not None and one.out.id == command.id:
-                self._answered(now, one, error, value)
+            one = self.leases.get(command.contract)
+            if one is not None and one.pending is not None and one.pending.id == command.id:
+                self._lease_answered(now, one, error, value)
                 self._soon(now, one)
 
-    def _answered(self, now: float, one: ContractLease, error: ClusterError | None, value: Any) -> None:
+    def _lease_answered(self, now: float, one: ContractLease, error: ClusterError | None, value: Any) -> None:
         one.fill(now, now + self._ahead)
         if error is None:
-            one.out, one.again = None, math.inf
-            one.number, one.refused = value["number"], 0
-            if abs(value["fair"] - one.fair) > SLIGHT * one.rate(now + self._ahead):
+            one.pending, one.retry_ms = None, math.inf
+            one.lease_number, one.refused = value["number"], 0
+            if abs(value["fair"] - one.fair_share) > SLIGHT * one.rate(now + self._ahead):
                 one.moved = now
-            one.fair, one.most, one.fair_cap = value["fair"], value["most"], value["fair_cap"]
-            one.holders, one.lack = value["holders"], value["lack"]
-            one.from_ms, one.until_ms, one.then = value["from_ms"], value["until_ms"], value["then"]
-            one.ends = one.asked + self._timings.lease_ms
-            one.took = took = now - one.asked
+            one.fair_share, one.max_share, one.fair_depth = value["fair"], value["most"], value["fair_cap"]
+            one.holders, one.others_deficit = value["holders"], value["lack"]
+            one.from_ms, one.until_ms, one.later_fraction = value["from_ms"], value["until_ms"], value["then"]
+            one.expires_ms = one.requested_ms + self._timings.lease_ms
+            one.call_ms = took = now - one.requested_ms
             doubt = one.doubt + (now - one.stamped) * self._timings.clock_drift
             if took * STAMPED < doubt:  # the more exact of the two
-                one.group = value["at_ms"] - one.asked - STAMPED * took
+                one.group = value["at_ms"] - one.requested_ms - STAMPED * took
                 one.doubt, one.stamped = STAMPED * took, now
-            if now < one.ends:
-                one.part, one.cap = value["part"], value["cap"]
-                one.level = min(one.level + value["room"], one.cap)
+            if now < one.expires_ms:
+                one.share, one.depth = value["part"], value["cap"]
+                one.level = min(one.level + value["room"], one.depth)
         # it is over there, and so here; what it was is lost
         elif isinstance(error, LeaseExpired | InvalidCall):
-            one.out, one.again, one.number = None, math.inf, 0
-            one.part = one.cap = one.level = 0.0
+            one.pending, one.retry_ms, one.lease_number = None, math.inf, 0
+            one.share = one.depth = one.level = 0.0
             one.refused += 1
             one.pause = min(RETRY_MS * 2.0 ** min(one.refused, 8), RETRY_MOST_MS)
             one.sent = now
         elif isinstance(error, NotFound):  # not open there yet, or no more
-            one.out, one.again = None, math.inf
+            one.pending, one.retry_ms = None, math.inf
             one.sent, one.pause = now, RETRY_MOST_MS
         else:  # it may have been taken: only the same call can tell
             one.pause = min(max(2.0 * one.pause, RETRY_MS), RETRY_MOST_MS)
-            one.again = now + one.pause
+            one.retry_ms = now + one.pause
 
-    def _learn(self, now: float, known: int, contracts: list[dict[str, Any]]) -> None:
+    def _update_contracts(self, now: float, known: int, contracts: list[dict[str, Any]]) -> None:
         self._known = known
         kept: dict[str, ContractLease] = {}
         for facts in contracts:
             if facts["hall"] and facts["hall"] != self._hall:
                 continue
             name = facts["contract"]
-            one = kept[name] = self.stakes.get(name) or ContractLease(
-                name, facts["tenant"], facts["rank"], facts, [], filled=now
+            one = kept[name] = self.leases.get(name) or ContractLease(
+                name, facts["tenant"], facts["rank"], facts, [], filled_ms=now
             )
             one.facts, one.rank = facts, facts["rank"]
             one.customers = [(v["holds_from_ms"], frozenset(v["customers"])) for v in facts["versions"]]
         for (
             name,
             one,
-        ) in self.stakes.items():  # settled: its lease ends by itself, and what is short is told first
-            if name not in kept and (one.slices or one.short != one.told) and now < one.ends + LATE_MS:
+        ) in self.leases.items():  # settled: its lease ends by itself, and what is short is told first
+            if (
+                name not in kept
+                and (one.slices or one.shortfalls != one.told)
+                and now < one.expires_ms + LATE_MS
+            ):
                 kept[name] = one
-        self.stakes = kept
+        self.leases = kept
         self._of = {}
         for one in sorted(kept.values(), key=lambda stake: (stake.rank, stake.contract)):
             for customer in sorted({customer for _, some in one.customers for customer in some}):
@@ -583,7 +605,7 @@
         for one in self._open(now, customer):
             one.note(now, now + self._ahead, units)
             if not one.waiting and one.draw(now, now + self._ahead, units, one.noted):
-                if one.part <= 0.0:
+                if one.share <= 0.0:
                     self._soon(now, one)
                 return ReservedUnits(one.contract, units, one.rank)
         return None
@@ -594,20 +616,22 @@
         request."""
         wall = now + self._ahead
         for one in self._open(now, customer):
-            most = one.rate(wall) * (WAIT_MS if one.pulls or one.lacks(one.wish) else QUEUE_MS)
+            most = one.rate(wall) * (
+                MAX_WAIT_MS if one.draws_per_request or one.lacks(one.wanted_rate) else QUEUE_MS
+            )
             free = one.queued() + units <= max(most / 1000.0, units) and len(one.waiting) < MOST_WAITING
             if free and one.fits(units):
-                one.waiting.append((now + WAIT_MS, units, token, one.noted))
+                one.waiting.append((now + MAX_WAIT_MS, units, token, one.noted))
                 self._soon(now, one)
                 return True
             self._soon(now, one)
         return False
 
-    def turns(self, now: float) -> list[tuple[Any, ReservedUnits | None]]:
+    def finished_waits(self, now: float) -> list[tuple[Any, ReservedUnits | None]]:
         """Who has waited and has its turn now, or none in time."""
         made: list[tuple[Any, ReservedUnits | None]] = []
         wall = now + self._ahead
-        for one in self.stakes.values():
+        for one in self.leases.values():
             while one.waiting:
                 until, units, token, noted = one.waiting[0]
                 one.fill(now, wall)
@@ -633,39 +657,41 @@
     def failed(self, now: float, reserved: ReservedUnits, cause: str) -> None:
         """Units drawn under a contract that no server served: short, by a cause ("load", "server lost",
         ...)."""
-        if (one := self.stakes.get(reserved.contract)) is not None:
+        if (one := self.leases.get(reserved.contract)) is not None:
             one.count(cause, reserved.units, now + self._ahead)
 
-    def lend(self, now: float) -> float:
+    def idle_rate(self, now: float) -> float:
         """Units a second of parts held here that the tenants do not use now."""
         idle = 0.0
-        for one in self.stakes.values():
+        for one in self.leases.values():
             if now + self._ahead >= one.from_ms:
                 one.fill(now, now + self._ahead)
                 if not one.waiting:
-                    idle += max(one.part - (0.0 if one.demand.gone(now) else one.demand.rate(now)), 0.0)
+                    idle += max(
+                        one.share - (0.0 if one.demand.has_stopped(now) else one.demand.rate(now)), 0.0
+                    )
         return idle
 
-    def held(self, now: float) -> float:
+    def held_rate(self, now: float) -> float:
         """Units a second that this gateway holds of all contracts."""
-        for one in self.stakes.values():
+        for one in self.leases.values():
             one.fill(now, now + self._ahead)
-        return sum(one.part for one in self.stakes.values() if now + self._ahead >= one.from_ms)
+        return sum(one.share for one in self.leases.values() if now + self._ahead >= one.from_ms)
 
     def status(self, now: float) -> dict[str, Any]:
         """For operators."""
         return {
             name: {
-                "part": one.part,
+                "part": one.share,
                 "level": one.level,
-                "fair": one.fair,
+                "fair": one.fair_share,
                 "asked": one.demand.rate(now),
-                "call_ms": one.took,
+                "call_ms": one.call_ms,
                 "waiting": one.queued(),
                 "holders": one.holders,
-                "ends_in_ms": max(one.ends - now, 0.0),
+                "ends_in_ms": max(one.expires_ms - now, 0.0),
                 "drawn": one.drawn,
-                "short": dict(one.short),
+                "short": dict(one.shortfalls),
             }
-            for name, one in self.stakes.items()
+            for name, one in self.leases.items()
         }
--- a/badgeryoke/cluster/reservations/priority_shedding.py
+++ b/badgeryoke/cluster/reservations/priority_shedding.py
@@ -21,24 +21,24 @@
     contract: str
     rank: int
     demand: float
-    part: float
+    share: float
 
     @property
     def need(self) -> float:
         """What has to be carried."""
-        return min(self.demand, self.part)
+        return min(self.demand, self.share)
 
 
 @dataclass(frozen=True, slots=True)
 class CapacitySplit:
     """Units a second: for each contract, what each is short, and what is left for all others."""
 
-    contracts: dict[str, float]
-    short: dict[str, float]
-    others: float
+    granted: dict[str, float]
+    shortfalls: dict[str, float]
+    unreserved: float
 
 
-def split(capacity: float, claims: Iterable[CapacityClaim]) -> CapacitySplit:
+def split_capacity(capacity: float, claims: Iterable[CapacityClaim]) -> CapacitySplit:
     """Divide a capacity.  Needs of the same class shrink by the same factor."""
     left = max(capacity, 0.0)
     made: dict[str, float] = {}
@@ -74,21 +74,21 @@
     """One gateway's flows.  `set` them as capacity and demand change; `may` asks for one request."""
 
     flows: dict[str, _Flow] = field(default_factory=dict)  # "" are all others
-    last: CapacitySplit = field(default_factory=lambda: CapacitySplit({}, {}, 0.0))
+    last_split: CapacitySplit = field(default_factory=lambda: CapacitySplit({}, {}, 0.0))
 
-    def set(self, now: float, capacity: float, claims: Iterable[CapacityClaim]) -> CapacitySplit:
+    def update(self, now: float, capacity: float, claims: Iterable[CapacityClaim]) -> CapacitySplit:
         """Divide anew; what is not named any more is forgotten."""
-        self.last = split(capacity, claims)
-        rates = {"": self.last.others, **self.last.contracts}
+        self.last_split = split_capacity(capacity, claims)
+        rates = {"": self.last_split.unreserved, **self.last_split.granted}
         for name in [name for name in self.flows if name not in rates]:
             del self.flows[name]
         for name, rate in rates.items():
             flow = self.flows.setdefault(name, _Flow(at=now))
             flow.fill(now)
             flow.rate = rate
-        return self.last
+        return self.last_split
 
-    def may(self, now: float, contract: str, units: float) -> bool:
+    def admit(self, now: float, contract: str, units: float) -> bool:
         """Whether a request under a contract, or under none (""), may be sent now.  A flow may go below
         nothing by one request, so that one larger than its depth still goes when it is its turn."""
         flow = self.flows.get(contract)
--- a/badgeryoke/gateway/cluster/connection_leases.py
+++ b/badgeryoke/gateway/cluster/connection_leases.py
@@ -293,7 +293,7 @@
             if group == FLEET or not self._node.replicas[group].leading:
                 continue
             for server, one in state.parts["connections"].servers.items():
-                if server in self._limits or one.parts.held:
+                if server in self._limits or one.parts.leases:
                     continue
                 missing[server] = self._missing.get(server, now)
                 if now - missing[server] >= GONE_MS and len(made) < MOST_GONE:
--- a/badgeryoke/gateway/reserved_admission.py
+++ b/badgeryoke/gateway/reserved_admission.py
@@ -11,7 +11,8 @@
 from collections.abc import Callable, Mapping
 from typing import Any, Protocol
 
-from badgeryoke.cluster.reservations.lease_client import WAIT_MS, ReservedUnits
+from badgeryoke.cluster.reservations.contract import MAX_WAIT_MS
+from badgeryoke.cluster.reservations.lease_client import ReservedUnits
 from badgeryoke.gateway.actor import ActorScheduler
 from badgeryoke.gateway.attempt import Request
 from badgeryoke.gateway.dispatcher import LATE
@@ -20,23 +21,23 @@
 
 TURN_S = 0.004  # between two looks at who has its turn, while any waits
 PATIENT_MS = (
-    2.0 * WAIT_MS
+    2.0 * MAX_WAIT_MS
 )  # of its time a query must have left to wait: the longest wait, and as much to be served in
 
 
 class ReservationLeases(Protocol):
-    """This gateway's stakes (`badgeryoke.cluster.reservations.lease_client.Floor`); times are ms of the
+    """This gateway's leases (`badgeryoke.cluster.reservations.lease_client.ReservationClient`); times are ms of the
     fleet's clock here."""
 
     @property
-    def stakes(self) -> Mapping[str, object]:
+    def leases(self) -> Mapping[str, object]:
         """By contract; none: no call is worth its time."""
 
     def take(self, now: float, customer: int, units: float) -> ReservedUnits | None: ...
 
     def wait(self, now: float, customer: int, units: float, token: Any) -> bool: ...
 
-    def turns(self, now: float) -> list[tuple[Any, ReservedUnits | None]]: ...
+    def finished_waits(self, now: float) -> list[tuple[Any, ReservedUnits | None]]: ...
 
     def failed(self, now: float, reserved: ReservedUnits, cause: str) -> None: ...
 
@@ -65,7 +66,7 @@
 
     def draw(self, run: ReservedRequest) -> bool:
         """Draw a query's units; False where there is no contract, or no room now."""
-        if not self._floor.stakes:
+        if not self._floor.leases:
             return False
         run.cause = LATE
         try:
@@ -77,7 +78,7 @@
     def waits(self, run: ReservedRequest, left_ms: float) -> bool:
         """Whether a query that found no room waits its turn; the core's `ask` is called when that has
         come."""
-        if left_ms < PATIENT_MS or not self._floor.stakes:
+        if left_ms < PATIENT_MS or not self._floor.leases:
             return False
         try:
             if not self._floor.wait(self._now(), run.query.customer, run.query.units, run):
@@ -93,7 +94,7 @@
     def _look(self) -> None:
         turns: list[tuple[Any, ReservedUnits | None]] = []
         try:
-            turns = self._floor.turns(self._now())
+            turns = self._floor.finished_waits(self._now())
         except Exception:
             self._fault()  # who waits is answered at its deadline, by the core
         for run, reserved in turns:
--- a/badgeryoke/testbed/checkers/contract_ledger.py
+++ b/badgeryoke/testbed/checkers/contract_ledger.py
@@ -15,7 +15,7 @@
 
 from dataclasses import dataclass, field
 
-from badgeryoke.cluster.reservations.contract import REST_MS
+from badgeryoke.cluster.reservations.contract import BUSY_PERIOD_GAP_MS
 
 EDGE = 1e-6
 LEFT_OUT_MS = 2000.0  # behind a loss, of the floor
@@ -41,7 +41,7 @@
     def ask(self, now: float, units: float, cut: bool = False) -> tuple[int, bool]:
         """So much is asked for; `cut`: where the floor does not hold.  Gives what `serve` has to know of
         it."""
-        if not self.times or now > self.last + REST_MS:
+        if not self.times or now > self.last + BUSY_PERIOD_GAP_MS:
             self.times.append([0.0, 0.0])
         self.last = now
         filled = (
--- a/badgeryoke/testbed/cluster_simulation/gateway.py
+++ b/badgeryoke/testbed/cluster_simulation/gateway.py
@@ -398,10 +398,10 @@
         deal.overdrawn = max(deal.overdrawn, -deal.level)
 
     def _turns(self, machine: Machine, side: Side, now: float) -> bool:
-        for token, reserved in side.floor.turns(now):
+        for token, reserved in side.floor.finished_waits(now):
             if reserved is not None:
                 self._served(token)
-        return any(stake.waiting for stake in side.floor.stakes.values())
+        return any(stake.waiting for stake in side.floor.leases.values())
 
     def _measure(self) -> None:
         """Parts that holders believe in now, each by its own clock."""
@@ -410,17 +410,17 @@
             held = lent = 0.0
             name = deal.text.name
             for owner, side in self.sides.items():
-                stake = side.floor.stakes.get(name)
-                if stake is None or not stake.part:
+                stake = side.floor.leases.get(name)
+                if stake is None or not stake.share:
                     continue
                 machine = self.world.machines[owner]
                 now = machine.clock.now(true)
-                if now >= stake.ends:
+                if now >= stake.expires_ms:
                     continue
                 wall = machine.clock.wall(now)
-                held += stake.part * (stake.then if wall >= stake.until_ms else 1.0)
-                if machine.up and stake.demand.gone(now):
-                    lent += stake.part
+                held += stake.share * (stake.later_fraction if wall >= stake.until_ms else 1.0)
+                if machine.up and stake.demand.has_stopped(now):
+                    lent += stake.share
             over = held - deal.text.rate
             if over > deal.over + 1e-6:
                 deal.over = over
--- a/badgeryoke/testbed/dispatcher_cost.py
+++ b/badgeryoke/testbed/dispatcher_cost.py
@@ -100,10 +100,10 @@
             "rank": 1,
             "hall": "",
         }
-        floor._learn(0.0, 1, [facts])
-        one: ContractLease = floor.stakes["peak"]
-        one.part = one.cap = one.level = one.fair = one.wish = 1e9
-        one.ends = one.until_ms = math.inf
+        floor._update_contracts(0.0, 1, [facts])
+        one: ContractLease = floor.leases["peak"]
+        one.share = one.depth = one.level = one.fair_share = one.wanted_rate = 1e9
+        one.expires_ms = one.until_ms = math.inf
 
     def add(self, *_: object) -> None:
         raise AssertionError("no counter here")
--- a/tests/cluster/reservations/test_contracts.py
+++ b/tests/cluster/reservations/test_contracts.py
@@ -52,7 +52,7 @@
     Window,
 )
 from badgeryoke.cluster.reservations.lease_client import ReservationClient
-from badgeryoke.cluster.reservations.priority_shedding import CapacityClaim, CapacityShares, split
+from badgeryoke.cluster.reservations.priority_shedding import CapacityClaim, CapacityShares, split_capacity
 from badgeryoke.cluster.state_machine.part import ApplyResult, Command, LeaderView
 from badgeryoke.cluster.timings import Timings
 
@@ -71,7 +71,12 @@
 
 def made(units: float = 100.0, reserve: float = 0.0, others: float = 0.0) -> ContractRegistry:
     part = ContractRegistry(T, Invariants())
-    assert part.apply(0.0, SetCapacity(id="c", units=units, reserve=reserve, floor=others)).error is None
+    assert (
+        part.apply(
+            0.0, SetCapacity(id="c", capacity=units, reserve_fraction=reserve, unreserved_rate=others)
+        ).error
+        is None
+    )
     return part
 
 
@@ -146,10 +151,10 @@
                 part.apply(
                     at,
                     ReportShortfall(
-                        id="s", contract="a", by="g", cause="load", units=units, since_ms=21_000.0
+                        id="s", contract="a", reporter="g", cause="load", units=units, since_ms=21_000.0
                     ),
                 )
-        state = part.held["a"].state.value
+        state = part.contracts["a"].state.value
         if not seen or seen[-1] != state:
             seen.append(state)
     assert seen == [
@@ -179,11 +184,11 @@
     assert isinstance(part.apply(20_000.0, CancelContract(id="y", contract="a")).error, WrongState)
     late = terms(50.0, 60_000.0, 70_000.0)
     assert isinstance(propose(part, 50_000.0, "b", late).error, InsufficientCapacity)
-    last = part.held["a"].newest.number
+    last = part.contracts["a"].newest.number
     part.apply(50_000.0, VersionDrained(id="u", contract="a", version=last))
-    assert propose(part, 50_001.0, "b", late).error is None and part.held["a"].state.value == "settled"
+    assert propose(part, 50_001.0, "b", late).error is None and part.contracts["a"].state.value == "settled"
     soon = part.apply(
-        50_002.0, ChangeContract(id="z", contract="b", terms=late, holds_from_ms=50_002.0 + TAIL)
+        50_002.0, ChangeContract(id="z", contract="b", terms=late, effective_from_ms=50_002.0 + TAIL)
     ).error
     assert isinstance(soon, InvalidCall) and "holds_from_ms" in soon.what
     assert isinstance(part.apply(50_002.0, CancelContract(id="x", contract="no")).error, NotFound)
@@ -192,12 +197,12 @@
 def test_less_capacity_takes_nothing_back_and_admits_nothing() -> None:
     part = made()
     propose(part, 0.0, "a", terms(90.0, 1_000.0, 90_000.0))
-    told = part.apply(1.0, SetCapacity(id="d", units=50.0, reserve=0.0, floor=0.0))
+    told = part.apply(1.0, SetCapacity(id="d", capacity=50.0, reserve_fraction=0.0, unreserved_rate=0.0))
     assert told.value == {"available": 50.0, "over": 40.0}
     assert isinstance(propose(part, 2.0, "b", terms(1.0, 1_000.0, 2_000.0)).error, InsufficientCapacity)
     less = terms(40.0, 1_000.0, 90_000.0)
     assert (
-        part.apply(3.0, ChangeContract(id="e", contract="a", terms=less, holds_from_ms=20_000.0)).error
+        part.apply(3.0, ChangeContract(id="e", contract="a", terms=less, effective_from_ms=20_000.0)).error
         is None
     )
 
@@ -228,7 +233,7 @@
             got = propose(part, 0.0, f"{number}b", one).error
             assert got is None
         if got is None:
-            held += [(begin, end + TAIL, one.rate) for begin, end in contract.spans(one.windows)]
+            held += [(begin, end + TAIL, one.rate) for begin, end in contract.expand_windows(one.windows)]
     for at in {begin for begin, _, _ in held}:
         assert sum(rate for begin, end, rate in held if begin <= at < end) <= 100.0 + 1e-6
 
@@ -252,7 +257,7 @@
     )
     def begin(self, whole: float, depth: float, step: float) -> None:
         self.checks = Invariants()
-        self.one = LeasePool(whole, depth, step, even=step > 0)
+        self.one = LeasePool(whole, depth, step, even_split=step > 0)
         self.mine: dict[str, tuple[int, float, float, float]] = {}  # number, part, cap, units in the bucket
         self.was = depth
 
@@ -274,16 +279,16 @@
         holds = cap * hold
         room = max(level - holds, 0.0)
         if stale:
-            assert isinstance(self.one.ask(who, number + 1, 0.0, wish, 0.0, self.checks), LeaseExpired)
+            assert isinstance(self.one.request(who, number + 1, 0.0, wish, 0.0, self.checks), LeaseExpired)
             return
         keeps = float(int(part * keep)) if self.one.step else part * keep
         need = max(holds - level, 0.0) if number else self.one.depth
-        got = self.one.ask(who, number, keeps, wish, room, self.checks, holds, need, soft)
+        got = self.one.request(who, number, keeps, wish, room, self.checks, holds, need, soft)
         assert isinstance(got, LeaseGrant)
-        assert got.part >= keeps - 1e-9 and got.cap >= min(holds, level - room) - 1e-9
+        assert got.share >= keeps - 1e-9 and got.depth >= min(holds, level - room) - 1e-9
         if got.number:
-            self.mine[who] = got.number, got.part, got.cap, level - room + got.room
-            assert self.mine[who][3] <= got.cap + 1e-6
+            self.mine[who] = got.number, got.share, got.depth, level - room + got.units
+            assert self.mine[who][3] <= got.depth + 1e-6
         else:
             self.mine.pop(who, None)
 
@@ -292,7 +297,7 @@
     def end(self, pick: int, again: bool) -> None:
         who = sorted(self.mine)[pick % len(self.mine)]
         number = self.mine.pop(who)[0]
-        assert self.one.end(who, number) and not self.one.end(who, number)
+        assert self.one.release(who, number) and not self.one.release(who, number)
 
     @rule(whole=st.floats(1.0, 80.0))
     def resize(self, whole: float) -> None:
@@ -306,12 +311,12 @@
     def holds(self) -> None:
         if not hasattr(self, "one"):
             return
-        assert sum(part for _, part, _, _ in self.mine.values()) <= self.one.whole + 1e-6
-        units = self.one.free + sum(level for *_, level in self.mine.values())
+        assert sum(part for _, part, _, _ in self.mine.values()) <= self.one.capacity + 1e-6
+        units = self.one.free_units + sum(level for *_, level in self.mine.values())
         if units > self.was + 1e-6:
             raise InvariantViolation(Rule.PARTS_IN_WHOLE, f"{units:g} units where there were {self.was:g}")
         self.was = units
-        assert self.one.free + sum(cap for _, _, cap, _ in self.mine.values()) <= self.one.depth + 1e-6
+        assert self.one.free_units + sum(cap for _, _, cap, _ in self.mine.values()) <= self.one.depth + 1e-6
 
 
 Parts.TestCase.settings = settings(QUICK, max_examples=30, stateful_step_count=40)
@@ -319,20 +324,28 @@
 
 
 def test_where_wishes_pass_the_whole_parts_are_even_or_in_proportion() -> None:
-    even, rates = LeasePool(12.0, step=1.0), LeasePool(12.0, even=False)
+    even, rates = LeasePool(12.0, step=1.0), LeasePool(12.0, even_split=False)
     for one in (even, rates):
         for who, wish in (("a", 20.0), ("b", 2.0), ("c", 10.0)):
-            one.ask(who, 0, 0.0, wish, 0.0, Invariants())
-    assert [even.fair(who, wish) for who, wish in (("a", 20.0), ("b", 2.0), ("c", 10.0))] == [5.0, 2.0, 5.0]
+            one.request(who, 0, 0.0, wish, 0.0, Invariants())
+    assert [even.fair_share(who, wish) for who, wish in (("a", 20.0), ("b", 2.0), ("c", 10.0))] == [
+        5.0,
+        2.0,
+        5.0,
+    ]
     # Of rates 0.3 are in no part, for whoever has requests waiting; and all that those wish who draw units
     # one by one.
-    assert [rates.fair(who, wish) for who, wish in (("a", 20.0), ("b", 2.0))] == pytest.approx([5.25, 0.525])
-    rates.ask("c", 3, 0.0, 2.0, 0.0, Invariants(), pulls=True)
-    assert rates.fair("a", 20.0) + rates.fair("b", 2.0) == pytest.approx(12.0 - 2.0 - 3.0, abs=1.5)
-    assert rates.fair("c", 2.0, pulls=True) == 0.0
+    assert [rates.fair_share(who, wish) for who, wish in (("a", 20.0), ("b", 2.0))] == pytest.approx(
+        [5.25, 0.525]
+    )
+    rates.request("c", 3, 0.0, 2.0, 0.0, Invariants(), draws_per_request=True)
+    assert rates.fair_share("a", 20.0) + rates.fair_share("b", 2.0) == pytest.approx(
+        12.0 - 2.0 - 3.0, abs=1.5
+    )
+    assert rates.fair_share("c", 2.0, draws_per_request=True) == 0.0
     assert even.excess("a") == 7.0
-    even.seen(5.0)
-    assert even.over(4.0 + TAIL, TAIL, 0.0) == [] and len(even.over(5.0 + TAIL, TAIL, 0.0)) == 3
+    even.mark_seen(5.0)
+    assert even.expired(4.0 + TAIL, TAIL, 0.0) == [] and len(even.expired(5.0 + TAIL, TAIL, 0.0)) == 3
 
 
 # A town of gateways
@@ -448,7 +461,7 @@
     def disturb(self) -> None:
         n, kind = self.draw.randrange(5), self.draw.choice(["cut", "freeze", "lead", "none"])
         if kind == "cut":  # whoever holds most, and the tenant stays there
-            n = max(range(5), key=lambda one: self.floors[one].held(self.now(one)))
+            n = max(range(5), key=lambda one: self.floors[one].held_rate(self.now(one)))
             self.cut[n] = self.t + self.draw.choice([500.0, 4000.0])
         elif kind == "freeze":
             self.frozen[n] = self.t + self.draw.choice([300.0, 1900.0, 4000.0])
@@ -457,7 +470,9 @@
             self.copies[self.lead].seen(self.t * self.fast)
 
     def referee(self) -> None:
-        held = sum(one.held(self.now(n)) for n, one in enumerate(self.floors) if self.t >= self.frozen[n])
+        held = sum(
+            one.held_rate(self.now(n)) for n, one in enumerate(self.floors) if self.t >= self.frozen[n]
+        )
         self.most = max(self.most, held)
         if held > self.rate + 1e-6:
             raise InvariantViolation(Rule.LEASE_ONCE, f"{held:g} of {self.rate:g} in use at {self.t:g}")
@@ -504,46 +519,46 @@
 
 
 def from_the_answer(patch: pytest.MonkeyPatch) -> None:
-    real = ReservationClient._answered
+    real = ReservationClient._lease_answered
 
     def answered(self: ReservationClient, now: float, one: Any, error: Any, value: Any) -> None:
-        one.asked = now
+        one.requested_ms = now
         real(self, now, one, error, value)
 
-    patch.setattr(ReservationClient, "_answered", answered)
+    patch.setattr(ReservationClient, "_lease_answered", answered)
 
 
 def grows_first(patch: pytest.MonkeyPatch) -> None:
     real = ReservationClient._ask
 
     def ask(self: ReservationClient, now: float, one: Any, *more: Any) -> RequestLease:
-        part = one.part
+        share = one.share
         made = real(self, now, one, *more)
-        one.part = part  # it has not shrunk before it says so
+        one.share = share  # it has not shrunk before it says so
         return made
 
     patch.setattr(ReservationClient, "_ask", ask)
 
 
 def twice(patch: pytest.MonkeyPatch) -> None:
-    real = LeasePool.ask
+    real = LeasePool.request
 
     def ask(self: LeasePool, who: str, number: int, keep: float, wish: float, room: float, *more: Any) -> Any:
-        if room > 0.0 and number == getattr(self.held.get(who), "number", 0):
-            self.free += room
+        if room > 0.0 and number == getattr(self.leases.get(who), "number", 0):
+            self.free_units += room
         return real(self, who, number, keep, wish, room, *more)
 
-    patch.setattr(LeasePool, "ask", ask)
+    patch.setattr(LeasePool, "request", ask)
 
 
 def unseen(patch: pytest.MonkeyPatch) -> None:
     patch.setattr(
         LeasePool,
-        "over",
+        "expired",
         lambda self, now, outlast, since: [
             (who, one.number)
-            for who, one in self.held.items()
-            if one.seen == math.inf or now - one.seen >= outlast
+            for who, one in self.leases.items()
+            if one.seen_ms == math.inf or now - one.seen_ms >= outlast
         ],
     )
     patch.setattr(GuaranteedRates, "seen", lambda self, now: None)
@@ -555,7 +570,7 @@
     def change(self: ContractRegistry, at_ms: float, name: str, *more: Any) -> ApplyResult:
         result = real(self, at_ms, name, *more)
         if result.error is None:
-            del self.held[name].versions[0]
+            del self.contracts[name].versions[0]
         return result
 
     patch.setattr(ContractRegistry, "_change", change)
@@ -591,18 +606,18 @@
                 begin = at + draw.choice([0, 3000, 9000])
                 one = terms(draw.choice([30.0, 50.0, 100.0]), begin, begin + draw.choice([5000, 20_000]))
                 propose(part, at, name, one)
-            elif act < 0.08 and name in part.held:
-                now = part.held[name].newest.terms
+            elif act < 0.08 and name in part.contracts:
+                now = part.contracts[name].newest.terms
                 part.apply(
                     at,
                     ChangeContract(
                         id=f"h{at}",
                         contract=name,
-                        holds_from_ms=at + 2 * TAIL + draw.choice([1, 3000]),
+                        effective_from_ms=at + 2 * TAIL + draw.choice([1, 3000]),
                         terms=replace_rate(now, draw.choice([20.0, 40.0, 80.0])),
                     ),
                 )
-            elif act < 0.1 and name in part.held:
+            elif act < 0.1 and name in part.contracts:
                 part.apply(at, CancelContract(id=f"x{at}", contract=name))
             post += [
                 (at + draw.choice([0, 100, 1000]), one)
@@ -612,7 +627,7 @@
                 (part if command.key() == "" else groups).apply(at, command)
             groups.seen(at)
             post = [sent for sent in post if sent[0] > at]
-            for contract_name in list(groups.held):
+            for contract_name in list(groups.contracts):
                 for who in ("g", "h"):
                     use = uses.setdefault((contract_name, who), [0, 0.0, 0.0, 0.0, 0.0])
                     if draw.random() < 0.2:
@@ -624,10 +639,10 @@
                                 tenant="dealer",
                                 contract=contract_name,
                                 holder=who,
-                                number=int(use[0]),
-                                keep=keep,
-                                wish=100.0,
-                                room=0.0,
+                                lease_number=int(use[0]),
+                                kept_rate=keep,
+                                wanted_rate=100.0,
+                                returned_units=0.0,
                             ),
                         )
                         fact = got.value
@@ -701,14 +716,14 @@
 
     def turns() -> None:
         for n, one in enumerate(town.floors):
-            got = [won for _, won in one.turns(town.now(n)) if won is not None]
+            got = [won for _, won in one.finished_waits(town.now(n)) if won is not None]
             for won in got:
                 town.served(won.units)
             served[slot()] += len(got)
 
     def others() -> None:
         for n, one in enumerate(town.floors):
-            idle = one.lend(town.now(n))
+            idle = one.idle_rate(town.now(n))
             lent[slot()] += idle / 20.0
             room[n] = min(room[n] + (left / 5 + idle) * 0.005, 5.0)
             sent = min(room[n], 5 * left / 5 * 0.005)
@@ -736,7 +751,7 @@
     back = [n for n in range(int(rest[1] // 100) + 1, 300) if lent[n] > 0.05 * 60.0]
     assert max(back, default=0) <= int((rest[1] + 250.0) // 100)
     town.run(town.end + 15_000.0)
-    told = town.part.held["p"].short.get(contract.NO_LEASE, {}).get("-", 0.0)
+    told = town.part.contracts["p"].shortfalls.get(contract.NO_LEASE, {}).get("-", 0.0)
     due = 2 * 30.0 + 60.0 * 32.0  # a burst after each rest, and the rate
     assert told == pytest.approx(due - sum(served), abs=0.01 * due)
 
@@ -744,16 +759,16 @@
 def test_a_gateway_that_cannot_renew_stops_and_counts_what_it_owes() -> None:
     town = Town(5, length=20_000.0)
     town.every(1000.0 / 60.0, lambda: town.ask(2) or town.floors[2].wait(town.now(2), 1, 1.0, None))
-    town.every(20.0, lambda: town.floors[2].turns(town.now(2)))
+    town.every(20.0, lambda: town.floors[2].finished_waits(town.now(2)))
     town.run(6000.0)
     town.cut[2] = 15_000.0
-    assert town.floors[2].held(town.now(2)) > 50.0
+    assert town.floors[2].held_rate(town.now(2)) > 50.0
     town.run(6000.0 + T.lease_ms + 1.0)
-    assert town.floors[2].held(town.now(2)) == 0.0 and not town.ask(2)
+    assert town.floors[2].held_rate(town.now(2)) == 0.0 and not town.ask(2)
     town.run(10_000.0)
-    drawn = town.floors[2].stakes["p"].drawn
+    drawn = town.floors[2].leases["p"].drawn
     town.run(45_000.0)
-    told = town.part.held["p"].short[contract.NO_LEASE]["-"]
+    told = town.part.contracts["p"].shortfalls[contract.NO_LEASE]["-"]
     missed = 7.0 * 60.0  # from its lease's end until it hears again
     assert drawn > 0.0 and missed <= told <= 1.15 * missed
 
@@ -764,11 +779,11 @@
     assert town.floors[1].take(town.now(1), 3, 1.0) is None  # not a customer of the tenant
     assert town.floors[1].take(town.now(1), 2, 2.0) is None and town.floors[1].wait(town.now(1), 2, 2.0, "it")
     town.run(5100.0)
-    ((token, got),) = town.floors[1].turns(town.now(1))
+    ((token, got),) = town.floors[1].finished_waits(town.now(1))
     assert token == "it" and got is not None
     town.floors[1].failed(town.now(1), got, "load")
     town.run(9000.0)
-    assert town.part.held["p"].short == {"load": {"g1/1#p": 2.0}}
+    assert town.part.contracts["p"].shortfalls == {"load": {"g1/1#p": 2.0}}
     assert town.part.apply(town.t, AdvanceContracts(id="p")).error is None
 
 
@@ -788,21 +803,21 @@
     ],
 )
 def test_what_falls_short_goes_by_class_and_evenly_within(capacity: float, kept: tuple[float, ...]) -> None:
-    got = split(capacity, claims())
-    assert (*got.contracts.values(), got.others) == pytest.approx(kept)
-    assert sum(got.short.values()) == pytest.approx(90.0 - sum(kept[:3]))
+    got = split_capacity(capacity, claims())
+    assert (*got.granted.values(), got.unreserved) == pytest.approx(kept)
+    assert sum(got.shortfalls.values()) == pytest.approx(90.0 - sum(kept[:3]))
     share = CapacityShares()
-    share.set(0.0, capacity, claims())
+    share.update(0.0, capacity, claims())
     sent = dict.fromkeys(("vital", "one", "two", ""), 0.0)
     for tick in range(10_000):
         for name in sent:
-            sent[name] += share.may(float(tick), name, 0.5) * 0.5
+            sent[name] += share.admit(float(tick), name, 0.5) * 0.5
     assert list(sent.values()) == pytest.approx([10 * one for one in kept], rel=0.06, abs=1.0)
 
 
 def test_the_leases_module_is_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(lease_pool, "MOST_HOLDERS", 16)
+    monkeypatch.setattr(lease_pool, "MAX_HOLDERS", 16)
     one = LeasePool(1.0)
-    for n in range(lease_pool.MOST_HOLDERS):
-        one.ask(str(n), 0, 0.0, 1.0, 0.0, Invariants())
-    assert isinstance(one.ask("x", 0, 0.0, 1.0, 0.0, Invariants()), InvalidCall)
+    for n in range(lease_pool.MAX_HOLDERS):
+        one.request(str(n), 0, 0.0, 1.0, 0.0, Invariants())
+    assert isinstance(one.request("x", 0, 0.0, 1.0, 0.0, Invariants()), InvalidCall)
--- a/tests/cluster/test_behaviour_digests.py
+++ b/tests/cluster/test_behaviour_digests.py
@@ -102,7 +102,7 @@
     SwitchVersion,
     VersionDrained,
     Window,
-    spans,
+    expand_windows,
 )
 from badgeryoke.cluster.reservations.lease_client import ReservationClient, ReservedUnits
 from badgeryoke.cluster.reservations.priority_shedding import CapacityClaim as ShareClaim
@@ -615,10 +615,10 @@
         if kind == 0:
             return SetCapacity(
                 id=self.id(),
-                units=self.figure(400.0),
-                reserve=draw.choice((0.0, 0.2, 0.2, 1.5)),
-                floor=self.figure(30.0),
-                halls={"a": 80.0, "b": self.figure(200.0)},
+                capacity=self.figure(400.0),
+                reserve_fraction=draw.choice((0.0, 0.2, 0.2, 1.5)),
+                unreserved_rate=self.figure(30.0),
+                zones={"a": 80.0, "b": self.figure(200.0)},
             )
         if kind < 6:
             return ProposeContract(
@@ -629,7 +629,7 @@
                 id=self.id(),
                 contract=self.contract(),
                 terms=self.terms(),
-                holds_from_ms=self.at + draw.choice((100.0, 5000.0, 9000.0, -1.0)),
+                effective_from_ms=self.at + draw.choice((100.0, 5000.0, 9000.0, -1.0)),
             )
         if kind == 7:
             return CancelContract(id=self.id(), contract=self.contract())
@@ -639,7 +639,7 @@
             return ReportShortfall(
                 id=self.id(),
                 contract=self.contract(),
-                by=draw.choice(GATEWAYS),
+                reporter=draw.choice(GATEWAYS),
                 cause=draw.choice("xyz"),
                 units=self.figure(50.0),
                 since_ms=self.at - 1000.0,
@@ -747,17 +747,17 @@
             tenant="ta",
             contract=self.contract(),
             holder=draw.choice((*WHO, "")[:7]),
-            number=self.number(),
-            keep=self.figure(20.0),
-            wish=self.figure(40.0),
-            room=self.figure(10.0),
-            hold=self.figure(20.0),
-            need=self.figure(5.0),
-            soft=draw.random() < 0.3,
-            least=self.figure(3.0),
-            pulls=draw.random() < 0.3,
+            lease_number=self.number(),
+            kept_rate=self.figure(20.0),
+            wanted_rate=self.figure(40.0),
+            returned_units=self.figure(10.0),
+            kept_depth=self.figure(20.0),
+            wanted_units=self.figure(5.0),
+            takes_spare=draw.random() < 0.3,
+            min_depth=self.figure(3.0),
+            draws_per_request=draw.random() < 0.3,
             process=draw.choice(("", "p1", "p2")),
-            order=draw.randint(0, self.made),
+            sequence=draw.randint(0, self.made),
         )
 
     def connection(self) -> Command:
@@ -805,8 +805,8 @@
                 version=draw.randint(0, 12),
                 rate=self.figure(60.0),
                 burst=self.figure(30.0),
-                times=((begin, begin + 20_000.0), (begin + 30_000.0, begin + 60_000.0)),
-                holds_from_ms=self.at + draw.choice((0.0, 4000.0)),
+                intervals=((begin, begin + 20_000.0), (begin + 30_000.0, begin + 60_000.0)),
+                effective_from_ms=self.at + draw.choice((0.0, 4000.0)),
             )
         if kind < 8:
             return self.lease()
@@ -816,7 +816,7 @@
                 id=self.id(),
                 tenant="ta",
                 contract=self.contract(),
-                by=draw.choice(GATEWAYS),
+                reporter=draw.choice(GATEWAYS),
                 slices=tuple(
                     (first - draw.randint(0, 500), self.figure(4.0), draw.uniform(0.0, 2.0))
                     for _ in range(draw.randint(1, 8))
@@ -828,7 +828,7 @@
                 tenant="ta",
                 contract=self.contract(),
                 holder=draw.choice(WHO),
-                number=self.number(),
+                lease_number=self.number(),
             )
         if kind == 11:
             return SwitchVersion(id=self.id(), tenant="ta", contract=self.contract())
@@ -853,7 +853,7 @@
         return [
             ReadContracts(id="q"),
             PollContracts(id="q"),
-            PollContracts(id="q", have=3),
+            PollContracts(id="q", known_revision=3),
             ReadPlacement(id="q"),
             ReadRollingRestarts(id="q"),
             *(ReadDesiredState(id="q", gateway=name) for name in GATEWAYS),
@@ -929,7 +929,10 @@
     applier, draw = Applier(group, digest), calls.draw
     if group == FLEET:
         applier.apply(
-            calls.at, SetCapacity(id="cap", units=200.0, reserve=0.1, floor=10.0, halls={"a": 100.0})
+            calls.at,
+            SetCapacity(
+                id="cap", capacity=200.0, reserve_fraction=0.1, unreserved_rate=10.0, zones={"a": 100.0}
+            ),
         )
     for step in range(500):
         passed = draw.choice((0.0, 5.0, 40.0, 300.0, 1500.0))
@@ -979,7 +982,7 @@
         Timings(lease_ms=1000.0),
     ):
         digest.add((faults(timings), timings.outlast()))
-    digest.add(spans((Window(5.0, 6.0), Window(1.0, 2.0, 2.0, 4.0))))
+    digest.add(expand_windows((Window(5.0, 6.0), Window(1.0, 2.0, 2.0, 4.0))))
     check("operators", digest)
 
 
@@ -987,22 +990,24 @@
 def test_a_divided_whole(even: bool) -> None:
     digest, draw, rules = Digest(), random.Random(6000), Invariants(strict=False)
     for case in range(6):
-        divided = LeasePool(100.0, depth=draw.choice((0.0, 50.0)), step=draw.choice((0.0, 1.0)), even=even)
+        divided = LeasePool(
+            100.0, depth=draw.choice((0.0, 50.0)), step=draw.choice((0.0, 1.0)), even_split=even
+        )
         now = 0.0
         for step in range(200):
             now += draw.choice((0.0, 10.0, 200.0))
             divided.accrue(START + now)
             who = draw.choice(WHO)
-            held = divided.held.get(who)
+            held = divided.leases.get(who)
             number = held.number if held is not None and draw.random() < 0.9 else draw.choice((0, 0, 3))
             keep = (
-                held.part * draw.choice((0.0, 0.5, 1.0, 1.0))
+                held.share * draw.choice((0.0, 0.5, 1.0, 1.0))
                 if held is not None
                 else draw.choice((0.0, 0.0, 3.0))
             )
-            cap = held.cap if held is not None else 0.0
+            cap = held.depth if held is not None else 0.0
             digest.add(
-                divided.ask(
+                divided.request(
                     who,
                     number,
                     keep,
@@ -1016,22 +1021,22 @@
                     draw.random() < 0.3,
                 )
             )
-            digest.add([divided.excess(one) for one in divided.held])
+            digest.add([divided.excess(one) for one in divided.leases])
             digest.add(
                 (
-                    divided.fair(who, 30.0),
-                    divided.fair(who, 20.0, True, True),
-                    divided.whole,
+                    divided.fair_share(who, 30.0),
+                    divided.fair_share(who, 20.0, True, True),
+                    divided.capacity,
                     divided.granted(),
                 )
             )
-            divided.seen(now)
+            divided.mark_seen(now)
             if step % 25 == 24:
                 divided.resize(draw.uniform(40.0, 140.0), draw.choice((0.0, 30.0, 60.0)))
-                digest.add(divided.over(now, 400.0, now - 900.0))
-                for gone, last in divided.over(now, 400.0, now - 900.0):
-                    digest.add(divided.end(gone, last))
-                digest.add(divided.end(who, 0))
+                digest.add(divided.expired(now, 400.0, now - 900.0))
+                for gone, last in divided.expired(now, 400.0, now - 900.0):
+                    digest.add(divided.release(gone, last))
+                digest.add(divided.release(who, 0))
                 digest.add(divided.dump())
                 divided = LeasePool.load(divided.dump())
         digest.add((case, rules.count))
@@ -1044,7 +1049,7 @@
         now += draw.choice((0.0, 3.0, 40.0))
         if step % 20 == 0:
             digest.add(
-                share.set(
+                share.update(
                     now,
                     draw.uniform(0.0, 120.0),
                     [
@@ -1055,7 +1060,7 @@
                     ],
                 )
             )
-        digest.add(share.may(now, draw.choice(("", "c0", "c1", "c3", "c9")), draw.uniform(0.5, 4.0)))
+        digest.add(share.admit(now, draw.choice(("", "c0", "c1", "c3", "c9")), draw.uniform(0.5, 4.0)))
     digest.add(share.flows)
     check("shares", digest)
 
@@ -1132,8 +1137,8 @@
                 held.append((floor, got))
             elif draw.random() < 0.7:
                 digest.add(floor.wait(now, customer, units, f"w{customer}"))
-        digest.add(floor.turns(now))
-        digest.add((floor.lend(now), floor.held(now), floor.due))
+        digest.add(floor.finished_waits(now))
+        digest.add((floor.idle_rate(now), floor.held_rate(now), floor.due))
     if held and draw.random() < 0.1:
         floor, got = held.pop(draw.randrange(len(held)))
         floor.failed(now, got, draw.choice(("overload", "timeout")))
@@ -1145,7 +1150,7 @@
     clients = Clients(seed, digest)
     floors = [ReservationClient(who, f"p{at}", TIMINGS, "ab"[at % 2], 3) for at, who in enumerate(WHO[:3])]
     clients.holders += floors
-    clients.apply(SetCapacity(id="cap", units=200.0, reserve=0.1, floor=10.0))
+    clients.apply(SetCapacity(id="cap", capacity=200.0, reserve_fraction=0.1, unreserved_rate=10.0))
     begin = clients.wall
     for at, (rate, rank) in enumerate(((30.0, 1), (60.0, 5), (15.0, 9))):
         clients.apply(
@@ -1175,7 +1180,7 @@
                 ChangeContract(
                     id="ch",
                     contract="c1",
-                    holds_from_ms=clients.wall + 5000.0,
+                    effective_from_ms=clients.wall + 5000.0,
                     terms=ContractTerms(
                         "ta", (3, 4, 5, 6), 40.0, 10.0, (Window(begin + 1500.0, begin + 9000.0),), rank=5
                     ),
--- a/tests/cluster/test_regressions.py
+++ b/tests/cluster/test_regressions.py
@@ -71,7 +71,7 @@
     TransferLeadership,
 )
 from badgeryoke.cluster.invariants import Invariants, InvariantViolation, Rule
-from badgeryoke.cluster.leases.lease_pool import MOST_GAP_MS, LeasePool
+from badgeryoke.cluster.leases.lease_pool import MAX_ACCRUAL_GAP_MS, LeasePool
 from badgeryoke.cluster.membership.protocol import DEAD, SUSPECT, Membership
 from badgeryoke.cluster.messages import (
     COMMAND,
@@ -111,7 +111,6 @@
 from badgeryoke.cluster.raft.log import RaftLog, encode_config
 from badgeryoke.cluster.raft.node import MOST_BODY, MOST_HELD, MOST_SNAPSHOT, RaftNode, Role
 from badgeryoke.cluster.reservations import contract
-from badgeryoke.cluster.reservations import lease_client as floor_module
 from badgeryoke.cluster.reservations.contract import (
     ContractRegistry,
     ContractTerms,
@@ -595,15 +594,22 @@
         version=1,
         rate=9.0,
         burst=0.0,
-        times=((0.0, 1e9),),
-        holds_from_ms=0.0,
+        intervals=((0.0, 1e9),),
+        effective_from_ms=0.0,
     )
     asked = RequestLease(
-        id="1", tenant="t", contract="c", holder="a/1", number=0, keep=0.0, wish=9.0, room=0.0
+        id="1",
+        tenant="t",
+        contract="c",
+        holder="a/1",
+        lease_number=0,
+        kept_rate=0.0,
+        wanted_rate=9.0,
+        returned_units=0.0,
     )
     for index, command in enumerate((opened, asked), 1):
         made.apply(700.0, index, encode(1.0, command))
-    assert [one.seen for one in made.parts["floors"].held["c"].parts.held.values()] == [700.0]
+    assert [one.seen_ms for one in made.parts["floors"].contracts["c"].pool.leases.values()] == [700.0]
 
 
 def test_names_are_bounded_and_a_known_one_goes_on(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -653,19 +659,19 @@
 
 def test_a_holder_keeps_no_more_than_it_had_and_only_its_present_lease_ends() -> None:
     whole, rules = LeasePool(10.0), Invariants()
-    assert whole.ask("a", 0, 0.0, 6.0, 0.0, rules).part == 6.0  # type: ignore[union-attr]
-    assert isinstance(whole.ask("a", 1, 7.0, 7.0, 0.0, rules), InvalidCall)
-    assert whole.ask("a", 1, 6.0, 6.0, 0.0, rules).number == 2  # type: ignore[union-attr]
-    assert not whole.end("a", 1) and whole.granted() == 6.0
+    assert whole.request("a", 0, 0.0, 6.0, 0.0, rules).share == 6.0  # type: ignore[union-attr]
+    assert isinstance(whole.request("a", 1, 7.0, 7.0, 0.0, rules), InvalidCall)
+    assert whole.request("a", 1, 6.0, 6.0, 0.0, rules).number == 2  # type: ignore[union-attr]
+    assert not whole.release("a", 1) and whole.granted() == 6.0
     whole.grow("a", 2.0)
-    assert whole.ask("b", 0, 0.0, 9.0, 0.0, rules).part == 2.0  # type: ignore[union-attr]
-    assert whole.end("a", 2) and whole.granted() == 2.0
+    assert whole.request("b", 0, 0.0, 9.0, 0.0, rules).share == 2.0  # type: ignore[union-attr]
+    assert whole.release("a", 2) and whole.granted() == 2.0
 
 
 def test_a_leap_of_the_groups_time_fills_no_bucket() -> None:
-    whole = LeasePool(10.0, 100.0, free=0.0, at_ms=1000.0)
+    whole = LeasePool(10.0, 100.0, free_units=0.0, accrued_until_ms=1000.0)
     whole.accrue(3_600_000.0)
-    assert whole.free == 10.0 * MOST_GAP_MS / 1000.0
+    assert whole.free_units == 10.0 * MAX_ACCRUAL_GAP_MS / 1000.0
 
 
 # What a node tells of its calls, and does for its groups
@@ -1310,7 +1316,7 @@
     made = ContractRegistry(Timings(), Invariants())
     asked = msgspec.convert({**TERMS, "rate": 60.0, "windows": [Window(*SPAN)]}, ContractTerms)
     for command in (
-        SetCapacity(id="1", units=units, reserve=0.0, floor=0.0),
+        SetCapacity(id="1", capacity=units, reserve_fraction=0.0, unreserved_rate=0.0),
         contract.ProposeContract(id="2", contract="c", terms=asked),
     ):
         assert made.apply(0.0, command).error is None
@@ -1319,32 +1325,35 @@
 
 def test_a_version_goes_when_the_next_one_is_told_and_by_no_word_of_an_older() -> None:
     made = admitted()
-    held = made.held["c"]
+    held = made.contracts["c"]
     changed = msgspec.structs.replace(held.newest.terms, rate=30.0)
     assert (
         made.apply(
-            1.0, contract.ChangeContract(id="3", contract="c", terms=changed, holds_from_ms=30_000.0)
+            1.0, contract.ChangeContract(id="3", contract="c", terms=changed, effective_from_ms=30_000.0)
         ).error
         is None
     )
     made.apply(2.0, contract.VersionDrained(id="4", contract="c", version=1))
-    assert (held.told, [one.number for one in held.versions]) == (1, [1, 2])
-    assert made.promised(0.0, 1e6) == 60.0  # the dearer of the two counts
+    assert (held.confirmed_version, [one.number for one in held.versions]) == (1, [1, 2])
+    assert made.peak_reserved_rate(0.0, 1e6) == 60.0  # the dearer of the two counts
     made.apply(3.0, contract.VersionDrained(id="5", contract="c", version=2))
-    assert (held.told, [one.number for one in held.versions]) == (2, [2])
+    assert (held.confirmed_version, [one.number for one in held.versions]) == (2, [2])
 
 
 def test_a_contract_is_armed_when_its_group_holds_it() -> None:
     made = admitted()
     made.apply(15_000.0, contract.AdvanceContracts(id="p"))
-    assert made.held["c"].state.value == "admitted"
+    assert made.contracts["c"].state.value == "admitted"
     made.apply(15_001.0, contract.VersionDrained(id="3", contract="c", version=1))
-    assert made.held["c"].state.value == "armed"
+    assert made.contracts["c"].state.value == "armed"
 
 
 def test_what_was_promised_before_capacity_fell_stands_behind_a_snapshot() -> None:
     made = admitted()
-    assert made.apply(1.0, SetCapacity(id="3", units=30.0, reserve=0.0, floor=5.0)).error is None
+    assert (
+        made.apply(1.0, SetCapacity(id="3", capacity=30.0, reserve_fraction=0.0, unreserved_rate=5.0)).error
+        is None
+    )
     other = ContractRegistry(Timings(), Invariants())
     other.load(msgspec.msgpack.decode(msgspec.msgpack.encode(made.dump())))
     assert (
@@ -1366,8 +1375,8 @@
                 version=number,
                 rate=rate,
                 burst=10.0,
-                times=(SPAN,),
-                holds_from_ms=holds_from,
+                intervals=(SPAN,),
+                effective_from_ms=holds_from,
             ),
         )
     return made
@@ -1383,12 +1392,12 @@
             tenant="t",
             contract="c",
             holder="a/1",
-            number=number,
-            keep=keep,
-            wish=wish,
-            room=0.0,
+            lease_number=number,
+            kept_rate=keep,
+            wanted_rate=wish,
+            returned_units=0.0,
             process="p",
-            order=order,
+            sequence=order,
         ),
     )
     assert result.error is None, result.error
@@ -1402,22 +1411,29 @@
 
 def test_an_older_version_that_comes_late_changes_nothing_and_none_is_forgotten_before_its_window() -> None:
     made = opened_floors((1, 60.0, 0.0), (3, 30.0, 25_000.0), (2, 90.0, 25_000.0))
-    coming = made.held["c"].coming
-    assert made.held["c"].version == 1 and coming is not None and coming.version == 3
+    coming = made.contracts["c"].pending
+    assert made.contracts["c"].version == 1 and coming is not None and coming.version == 3
     made = opened_floors((2, 60.0, 0.0), (1, 90.0, 0.0))
-    assert (made.held["c"].version, made.held["c"].rate) == (2, 60.0)
+    assert (made.contracts["c"].version, made.contracts["c"].rate) == (2, 60.0)
     made.apply(
         1.0,
         contract.OpenContract(
-            id="x", tenant="t", contract="d", version=4, rate=1.0, burst=0.0, times=(SPAN,), holds_from_ms=0.0
+            id="x",
+            tenant="t",
+            contract="d",
+            version=4,
+            rate=1.0,
+            burst=0.0,
+            intervals=(SPAN,),
+            effective_from_ms=0.0,
         ),
     )
-    assert list(made.held) == ["c", "d"]
+    assert list(made.contracts) == ["c", "d"]
 
 
 def test_parts_are_granted_within_a_window_and_end_behind_the_margin() -> None:
     made = opened_floors((1, 60.0, 0.0))
-    assert lease(made, SPAN[0] - contract.EARLY_MS - 1.0, 1, 0, 60.0)["part"] == 0.0
+    assert lease(made, SPAN[0] - contract.GRANT_AHEAD_MS - 1.0, 1, 0, 60.0)["part"] == 0.0
     made = opened_floors((1, 60.0, 0.0))
     granted = lease(made, SPAN[0] - 1.0, 1, 0, 60.0)
     assert granted["part"] == 60.0 and granted["from_ms"] == SPAN[0]
@@ -1444,8 +1460,8 @@
             version=2,
             rate=rate,
             burst=10.0,
-            times=(SPAN,),
-            holds_from_ms=25_000.0,
+            intervals=(SPAN,),
+            effective_from_ms=25_000.0,
         ),
     )
     renewed = lease(made, 20_002.0, 2, granted["number"], 60.0, 60.0)
@@ -1454,7 +1470,7 @@
     other = GuaranteedRates(Timings(), Invariants())
     other.load(msgspec.msgpack.decode(msgspec.msgpack.encode(made.dump())))
     for one in (made, other):
-        assert one.held["c"].version == 2 and "Told" not in words(one, 10.0, 25_000.0)
+        assert one.contracts["c"].version == 2 and "Told" not in words(one, 10.0, 25_000.0)
         assert (
             lease(one, 25_001.0, 2, granted["number"], 60.0, 60.0) == renewed
         )  # a repeat is answered as it was
@@ -1464,28 +1480,28 @@
 
 def test_what_a_lost_holder_had_is_gone() -> None:
     whole, rules = LeasePool(10.0, 8.0), Invariants()
-    granted = whole.ask("a", 0, 0.0, 10.0, 0.0, rules, 0.0, 8.0)
-    assert not isinstance(granted, InvalidCall | LeaseExpired) and granted.room > 0.0
-    free = whole.free
-    whole.end("a", granted.number)
-    assert whole.free == free
+    granted = whole.request("a", 0, 0.0, 10.0, 0.0, rules, 0.0, 8.0)
+    assert not isinstance(granted, InvalidCall | LeaseExpired) and granted.units > 0.0
+    free = whole.free_units
+    whole.release("a", granted.number)
+    assert whole.free_units == free
 
 
 def test_two_changes_never_overlap_and_a_tenants_contracts_are_bounded(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(contract, "MOST_OF_TENANT", 1)
+    monkeypatch.setattr(contract, "MAX_CONTRACTS_PER_TENANT", 1)
     made = admitted()
-    terms = made.held["c"].newest.terms
+    terms = made.contracts["c"].newest.terms
     first, second = (msgspec.structs.replace(terms, rate=rate) for rate in (30.0, 20.0))
     assert (
         made.apply(
-            1.0, contract.ChangeContract(id="3", contract="c", terms=first, holds_from_ms=30_000.0)
+            1.0, contract.ChangeContract(id="3", contract="c", terms=first, effective_from_ms=30_000.0)
         ).error
         is None
     )
     again = made.apply(
-        2.0, contract.ChangeContract(id="4", contract="c", terms=second, holds_from_ms=30_000.0)
+        2.0, contract.ChangeContract(id="4", contract="c", terms=second, effective_from_ms=30_000.0)
     )
     assert isinstance(again.error, WrongState)
     more = made.apply(
@@ -1507,7 +1523,7 @@
             {**TERMS, "rate": 60.0, "hall": of, "windows": [Window(*SPAN)]}, ContractTerms
         )
         for command in (
-            SetCapacity(id="1", units=100.0, reserve=0.0, floor=0.0),
+            SetCapacity(id="1", capacity=100.0, reserve_fraction=0.0, unreserved_rate=0.0),
             contract.ProposeContract(id="2", contract="c", terms=asked),
             contract.VersionDrained(id="3", contract="c", version=1),
         ):
@@ -1536,7 +1552,7 @@
             else:
                 self.floor.wait(now, 1, 0.5, None)
             self.turn(now)
-            drawn += sum(reserved is not None for _, reserved in self.floor.turns(now))
+            drawn += sum(reserved is not None for _, reserved in self.floor.finished_waits(now))
             now += 10.0
         return drawn
 
@@ -1550,17 +1566,17 @@
     assert made.ask(SPAN[0] - 900.0, SPAN[0]) == 0
     assert made.ask(SPAN[0], SPAN[0] + 1000.0) > 80
     late = SPAN[1] - 500.0
-    assert made.ask(late, SPAN[1]) > 40 and made.floor.held(SPAN[1] - 1.0) > 30.0
-    assert made.floor.held(SPAN[1]) == 0.0 and made.floor.take(SPAN[1], 1, 0.5) is None
+    assert made.ask(late, SPAN[1]) > 40 and made.floor.held_rate(SPAN[1] - 1.0) > 30.0
+    assert made.floor.held_rate(SPAN[1]) == 0.0 and made.floor.take(SPAN[1], 1, 0.5) is None
 
 
 def test_before_a_window_a_bucket_does_not_fill() -> None:
     made = Gate()
     made.turn(SPAN[0] - 900.0)
     made.turn(SPAN[0] - 890.0)
-    stake = made.floor.stakes["c"]
-    assert stake.part > 0.0  # it could
-    stake.cap, stake.level = 5.0, 0.0
+    stake = made.floor.leases["c"]
+    assert stake.share > 0.0  # it could
+    stake.depth, stake.level = 5.0, 0.0
     stake.fill(SPAN[0] - 1.0, SPAN[0] - 1.0)
     assert stake.level == 0.0
     stake.fill(SPAN[0] + 10.0, SPAN[0] + 10.0)
@@ -1584,7 +1600,7 @@
     ]
     assert repeats and all(one == first for one in repeats)
     made = Gate()
-    assert made.ask(begin, begin + 500.0) > 20 and made.floor.held(begin + 500.0) > 0.0
+    assert made.ask(begin, begin + 500.0) > 20 and made.floor.held_rate(begin + 500.0) > 0.0
     last = next(
         one
         for at in range(20)
@@ -1592,17 +1608,17 @@
         if isinstance(one, RequestLease)
     )
     made.floor.answered(begin + 720.0, last, ApplyResult(error=LeaseExpired("a/1", "it is over")))
-    assert made.floor.held(begin + 720.0) == 0.0 and made.floor.take(begin + 720.0, 1, 0.5) is None
+    assert made.floor.held_rate(begin + 720.0) == 0.0 and made.floor.take(begin + 720.0, 1, 0.5) is None
 
 
 def test_a_request_that_has_no_turn_in_time_is_an_ordinary_one() -> None:
     made, begin = Gate(), SPAN[0] + 1000.0
     for at in range(3):
         made.turn(begin + 10.0 * at)
-    stake = made.floor.stakes["c"]
-    stake.part = stake.level = 0.0
+    stake = made.floor.leases["c"]
+    stake.share = stake.level = 0.0
     assert made.floor.take(begin + 40.0, 1, 0.5) is None and made.floor.wait(begin + 40.0, 1, 0.5, "token")
-    assert made.floor.turns(begin + 41.0 + floor_module.WAIT_MS) == [("token", None)]
+    assert made.floor.finished_waits(begin + 41.0 + contract.MAX_WAIT_MS) == [("token", None)]
 
 
 def test_units_short_are_told_once() -> None:
@@ -1658,10 +1674,14 @@
     world.network.delays[leader.name, asker.name] = 700.0
     world.call(asker.name, contract.ProposeContract(id="1", contract="c", terms=terms), got.append)
     world.calendar.run(world.calendar.now + 200.0)
-    world.call(leader.name, SetCapacity(id="2", units=1000.0, reserve=0.0, floor=0.0), lambda result: None)
+    world.call(
+        leader.name,
+        SetCapacity(id="2", capacity=1000.0, reserve_fraction=0.0, unreserved_rate=0.0),
+        lambda result: None,
+    )
     world.calendar.run(world.calendar.now + 3000.0)
     assert leader.node is not None
-    taken = "c" in leader.node.states[FLEET].parts["contracts"].held
+    taken = "c" in leader.node.states[FLEET].parts["contracts"].contracts
     refused = isinstance(got[0], ApplyResult) and isinstance(got[0].error, InsufficientCapacity)
     assert not (taken and refused), f"{got[0]}, and the contract is held"
 
@@ -1842,8 +1862,8 @@
             version=1,
             rate=100.0,
             burst=10.0,
-            times=((0.0, 1e6),),
-            holds_from_ms=0.0,
+            intervals=((0.0, 1e6),),
+            effective_from_ms=0.0,
         ),
     )
 
@@ -1853,12 +1873,12 @@
             tenant="t",
             contract="c",
             holder=holder,
-            number=number,
-            keep=0.0,
-            wish=wish,
-            room=0.0,
+            lease_number=number,
+            kept_rate=0.0,
+            wanted_rate=wish,
+            returned_units=0.0,
             process="p",
-            order=int(id_),
+            sequence=int(id_),
         )
 
     first = ask("1", "a/1", 0, 100.0)
--- a/tests/decisions/test_priority_admission.py
+++ b/tests/decisions/test_priority_admission.py
@@ -241,7 +241,7 @@
     def __init__(self, room: float = 0.0) -> None:
         self.room, self.due, self.waiting = room, False, list[tuple[Any, float]]()
         self.short: list[tuple[str, float]] = []
-        self.broken, self.stakes = False, {"peak": None}
+        self.broken, self.leases = False, {"peak": None}
 
     def take(self, now: float, customer: int, units: float) -> ReservedUnits | None:
         if self.broken:
@@ -256,7 +256,7 @@
             self.waiting.append((token, units))
         return customer == 5 and not self.broken
 
-    def turns(self, now: float) -> list[tuple[Any, ReservedUnits | None]]:
+    def finished_waits(self, now: float) -> list[tuple[Any, ReservedUnits | None]]:
         if not self.due:
             return []
         held, self.waiting = self.waiting, []
