--- /dev/null
+++ b/badgeryoke/cluster/reservations/admission.py
@@ -0,0 +1,460 @@
+"""Admission control: the part of the cluster's own group that admits contracts and follows them to their end.
+
+All proposals go through one log, so two of them at two gateways never both take the last capacity.  What may
+be reserved is the stated capacity less a fraction for losses, less a rate for requests without a contract.  A
+contract takes capacity from its window's start until the last lease under it must have expired
+(`Timings.outlast` behind its end).
+
+A change, or a cancellation, is a version with a number and one moment from which it holds, at least two lease
+times ahead.  This group opens each version at the tenant's group
+(`badgeryoke.cluster.reservations.guaranteed_rates`), which applies it from its moment and answers
+`VersionDrained` once no lease of an earlier version is left.  Until then the dearer of the two versions takes
+capacity: close, return, grant, open.
+
+Source: the operators' wish "Reserved capacity contracts"; admission by rates over windows follows the
+reservations of `badgeryoke/decisions/plan_schedule`.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import Any
+
+import msgspec
+
+from badgeryoke.cluster.errors import (
+    AnyError,
+    InsufficientCapacity,
+    InvalidCall,
+    NotFound,
+    Overloaded,
+    WrongState,
+)
+from badgeryoke.cluster.invariants import Invariants, Rule
+from badgeryoke.cluster.leases.lease_pool import EPSILON
+from badgeryoke.cluster.reservations.capacity_profile import (
+    CapacityLimit,
+    CapacityProfile,
+    ReservedInterval,
+    earliest_fit_ms,
+    rate_at,
+)
+from badgeryoke.cluster.reservations.commands import (
+    AdvanceContracts,
+    CancelContract,
+    ChangeContract,
+    ContractsAnswer,
+    OpenContract,
+    PollContracts,
+    ProposeContract,
+    ReportShortfall,
+    SetCapacity,
+    VersionDrained,
+    contract_of,
+)
+from badgeryoke.cluster.reservations.contract import (
+    Contract,
+    ContractEvent,
+    ContractState,
+    ContractVersion,
+)
+from badgeryoke.cluster.reservations.contract_records import (
+    contract_facts,
+    contract_status,
+    dump_contract,
+    load_contract,
+)
+from badgeryoke.cluster.reservations.retry_schedule import RetrySchedule
+from badgeryoke.cluster.reservations.terms import ContractTerms, expand_windows
+from badgeryoke.cluster.state_machine.part import ApplyResult, Command, LeaderView
+from badgeryoke.cluster.timings import Timings
+
+MAX_CONTRACTS = 1000  # in the cluster, not settled; more are rejected
+MAX_CONTRACTS_PER_TENANT = 16
+MAX_SETTLED_CONTRACTS = 200  # kept for reading; the oldest is forgotten first
+MAX_INTERVALS = 20_000  # of all contracts together
+MAX_SHORTFALL_REPORTS = 1024  # of one contract, by gateway and cause
+CAPACITY_CHANGE_FRACTION = 0.02  # a measured capacity is stated anew when it differs by more
+DEFAULT_UNRESERVED_FRACTION = 0.1  # of the capacity, where no unreserved rate is stated
+MIN_ZONES = 2  # for the default reserve: one of that many zones may be lost
+ROUNDING_TOLERANCE = 1e-6  # units a second, of sums over contracts
+WHOLE_CLUSTER = ""  # in place of a zone
+
+
+class ContractRegistry:
+    """Contracts by name, in the order of their admission; a `StateMachinePart`."""
+
+    def __init__(self, timings: Timings, rules: Invariants) -> None:
+        self._timings, self._rules = timings, rules
+        self.contracts: dict[str, Contract] = {}
+        self.capacity = 0.0  # units a second
+        self.reserve_fraction = 0.0
+        self.unreserved_rate = 0.0  # units a second
+        self.zones: dict[str, float] = {}  # capacity of each
+        self.last_version = 0  # a version's number is given once, whatever contract has it
+        self.capacity_revision = 0  # times that a capacity was stated
+        self.revision = 0  # changes of what gateways have to know
+        self._open_retries = RetrySchedule()
+        # What was reserved already when less capacity was stated, by zone.
+        self._overcommitted: dict[str, float] = {}
+
+    @property
+    def lease_tail_ms(self) -> float:
+        """How long behind a window's end a lease may still be in use."""
+        return self._timings.outlast()
+
+    # Commands
+    # ------------------------------------------------------------------------------------
+
+    def apply(self, at_ms: float, command: Command) -> ApplyResult:
+        """See badgeryoke.cluster.state_machine.part."""
+        if problem := command.validate():
+            return ApplyResult(error=InvalidCall(contract_of(command) or "capacity", problem))
+        for contract in self.contracts.values():
+            contract.advance_to(at_ms, self.lease_tail_ms)
+        match command:
+            case ProposeContract():
+                result = self._propose(at_ms, command)
+            case ChangeContract():
+                result = self._change(at_ms, command.contract, command.terms, command.effective_from_ms)
+            case CancelContract():
+                result = self._change(at_ms, command.contract, None, at_ms + 2 * self.lease_tail_ms)
+            case VersionDrained():
+                result = self._version_drained(at_ms, command)
+            case ReportShortfall():
+                return self._record_shortfall(at_ms, command)  # takes no capacity: nothing to check
+            case SetCapacity():
+                result = self._set_capacity(at_ms, command)
+            case AdvanceContracts():
+                self._forget_oldest_settled()
+                return ApplyResult()
+            case _:
+                return ApplyResult(
+                    error=InvalidCall("contracts", f"unknown command {command.command_name()}")
+                )
+        if result.error is None:
+            self._check_reserved(at_ms)
+        return result
+
+    def _propose(self, at_ms: float, command: ProposeContract) -> ApplyResult:
+        name, terms = command.contract, command.terms
+        known = self.contracts.get(name)
+        if known is not None:
+            same = known.versions[0].terms == terms
+            return ApplyResult(
+                contract_status(known), None if same else WrongState(name, "another has that name")
+            )
+        intervals = expand_windows(terms.windows)
+        start_ms = intervals[0].start_ms
+        if start_ms < at_ms:
+            return ApplyResult(
+                error=InvalidCall(name, f"windows: from_ms: {at_ms - start_ms:.0f} ms in the past")
+            )
+        if (overload := self._check_bounds(terms, len(intervals))) is not None:
+            return ApplyResult(error=overload)
+        contract = Contract(name, [ContractVersion(self.last_version + 1, terms, intervals, 0.0)])
+        reserved = contract.reserved_intervals(self.lease_tail_ms)
+        if (rejection := self._check_fit(at_ms, name, reserved, terms)) is not None:
+            contract.advance(ContractEvent.REFUSE)
+            return ApplyResult(error=rejection)
+        contract.advance(ContractEvent.ADMIT)
+        self.contracts[name] = contract
+        self.last_version += 1
+        self.revision += 1
+        contract.advance_to(at_ms, self.lease_tail_ms)
+        return ApplyResult(contract_status(contract))
+
+    def _change(
+        self, at_ms: float, name: str, terms: ContractTerms | None, effective_from_ms: float
+    ) -> ApplyResult:
+        """Add a version; `terms` None: a cancellation."""
+        contract = self.contracts.get(name)
+        if contract is None:
+            return ApplyResult(error=NotFound(name, "no such contract is known"))
+        error = self._check_changeable(at_ms, contract, effective_from_ms)
+        if error is None and terms is not None:
+            error = _check_new_terms(contract, terms, effective_from_ms)
+        if error is not None:
+            return ApplyResult(error=error)
+        old = contract.newest
+        intervals = expand_windows(terms.windows) if terms is not None else []
+        pending = ContractVersion(self.last_version + 1, terms or old.terms, intervals, effective_from_ms)
+        if terms is not None:
+            added = self._added_intervals(contract, pending)
+            if added and (rejection := self._check_fit(at_ms, name, added, terms)) is not None:
+                return ApplyResult(error=rejection)
+        contract.versions.append(pending)
+        self.last_version += 1
+        self.revision += 1
+        if terms is None:
+            contract.cancelled = True
+            contract.advance(ContractEvent.CANCEL)
+        return ApplyResult(contract_status(contract))
+
+    def _check_changeable(
+        self, at_ms: float, contract: Contract, effective_from_ms: float
+    ) -> WrongState | InvalidCall | None:
+        """Why a contract takes no other version now."""
+        name, newest = contract.name, contract.newest
+        if contract.cancelled or not contract.is_live or newest.intervals[-1].end_ms <= at_ms:
+            state = "cancelled" if contract.cancelled else contract.state.value
+            return WrongState(name, f"it is {state}")
+        if len(contract.versions) > 1:
+            return WrongState(name, "the change before is not through yet")
+        if effective_from_ms < at_ms + 2 * self.lease_tail_ms - EPSILON:
+            return InvalidCall(
+                name, f"holds_from_ms: expected {2 * self.lease_tail_ms:.0f} ms ahead at the least"
+            )
+        return None
+
+    def _added_intervals(self, contract: Contract, pending: ContractVersion) -> list[ReservedInterval]:
+        """What a contract would take with a pending version where that is more than it takes already."""
+        before = contract.reserved_intervals(self.lease_tail_ms)
+        changed = Contract(contract.name, [contract.newest, pending])
+        return [
+            interval
+            for interval in changed.reserved_intervals(self.lease_tail_ms)
+            if interval.rate > rate_at(before, interval.start_ms) + EPSILON
+        ]
+
+    def _version_drained(self, at_ms: float, command: VersionDrained) -> ApplyResult:
+        contract = self.contracts.get(command.contract)
+        if contract is None:
+            return ApplyResult(error=NotFound(command.contract, "no such contract is known"))
+        if command.version > contract.newest.number:
+            return ApplyResult(
+                error=WrongState(command.contract, f"version {command.version} is not known here")
+            )
+        if command.version > contract.confirmed_version:
+            contract.confirmed_version = command.version
+            if len(contract.versions) > 1 and command.version == contract.newest.number:
+                del contract.versions[0]
+            self.revision += 1
+            contract.advance_to(at_ms, self.lease_tail_ms)
+        return ApplyResult()
+
+    def _record_shortfall(self, at_ms: float, command: ReportShortfall) -> ApplyResult:
+        contract = self.contracts.get(command.contract)
+        if contract is None:
+            return ApplyResult(error=NotFound(command.contract, "no such contract is known"))
+        totals = contract.shortfalls.setdefault(command.cause, {})
+        added = command.units - totals.get(command.reporter, 0.0)
+        reports = sum(map(len, contract.shortfalls.values()))
+        if command.reporter not in totals and reports >= MAX_SHORTFALL_REPORTS:
+            return ApplyResult(
+                error=Overloaded(command.contract, f"{MAX_SHORTFALL_REPORTS} reports are counted already")
+            )
+        if added <= 0.0:
+            return ApplyResult()
+        totals[command.reporter] = command.units
+        contract.shortfall_since_ms = min(contract.shortfall_since_ms or math.inf, command.since_ms)
+        contract.last_shortfall_ms = at_ms
+        contract.advance(ContractEvent.SHORTFALL)
+        return ApplyResult()
+
+    def _set_capacity(self, at_ms: float, command: SetCapacity) -> ApplyResult:
+        self.capacity = command.capacity
+        self.reserve_fraction = command.reserve_fraction
+        self.unreserved_rate = command.unreserved_rate
+        self.zones = dict(sorted(command.zones.items()))
+        self.capacity_revision += 1
+        # What was reserved stays reserved; until it fits again nothing new is admitted, and
+        # `badgeryoke.cluster.reservations.priority_shedding` decides what is shed first.
+        self._overcommitted = {
+            zone: self._profile(zone).peak(at_ms, math.inf) for zone in (WHOLE_CLUSTER, *self.zones)
+        }
+        available = self.available()
+        over = max(self._overcommitted[WHOLE_CLUSTER] - available, 0.0)
+        return ApplyResult({"available": available, "over": over})
+
+    # Admission
+    # ------------------------------------------------------------------------------------
+
+    def available(self, zone: str = WHOLE_CLUSTER) -> float:
+        """What may be reserved, units a second: in all, or in a zone in proportion to its capacity."""
+        if not zone:
+            return max(self.capacity * (1.0 - self.reserve_fraction) - self.unreserved_rate, 0.0)
+        fraction = self.zones.get(zone, self.capacity) / self.capacity if self.capacity else 0.0
+        return self.available() * min(fraction, 1.0)
+
+    def peak_reserved_rate(self, start_ms: float, end_ms: float) -> float:
+        """The most that contracts take at any moment of a time (Unix ms), units a second."""
+        return self._profile().peak(start_ms, end_ms)
+
+    def _profile(self, zone: str = WHOLE_CLUSTER, without: str = "") -> CapacityProfile:
+        """What contracts take over time, in all or in a zone, but for one contract."""
+        return CapacityProfile(
+            interval
+            for contract in self.contracts.values()
+            if contract.name != without
+            and contract.is_live
+            and (not zone or any(version.terms.zone == zone for version in contract.versions))
+            for interval in contract.reserved_intervals(self.lease_tail_ms)
+        )
+
+    def _check_bounds(self, terms: ContractTerms, intervals: int) -> AnyError | None:
+        """Why one contract more is too many."""
+        self._forget_oldest_settled()
+        live = [one for one in self.contracts.values() if one.state is not ContractState.SETTLED]
+        of_tenant = sum(contract.newest.terms.tenant == terms.tenant for contract in live)
+        if len(live) >= MAX_CONTRACTS or of_tenant >= MAX_CONTRACTS_PER_TENANT:
+            return Overloaded(
+                terms.tenant,
+                f"{MAX_CONTRACTS} in all, or {MAX_CONTRACTS_PER_TENANT} of a tenant, are held already",
+            )
+        known = sum(len(version.intervals) for contract in live for version in contract.versions)
+        if known + intervals > MAX_INTERVALS:
+            return Overloaded(terms.tenant, f"windows: all contracts' come to more than {MAX_INTERVALS}")
+        return None
+
+    def _check_fit(
+        self, at_ms: float, name: str, reserved: list[ReservedInterval], terms: ContractTerms
+    ) -> InsufficientCapacity | None:
+        """Why a contract does not fit beside all others, or None.  `reserved`: all that it would take."""
+        zones = (WHOLE_CLUSTER, terms.zone) if terms.zone else (WHOLE_CLUSTER,)
+        limits = [CapacityLimit(self._profile(zone, without=name), self.available(zone)) for zone in zones]
+        ahead = [
+            ReservedInterval(max(start_ms, at_ms), end_ms, rate)
+            for start_ms, end_ms, rate in reserved
+            if end_ms > at_ms
+        ]
+        exceeded = [limit for limit in limits if not limit.fits(ahead)]
+        if not exceeded:
+            return None
+        return InsufficientCapacity(
+            name,
+            f"rate: {terms.rate:g} units a second are asked for",
+            fits=min(limit.free_rate(ahead) for limit in exceeded),
+            fits_from_ms=earliest_fit_ms(limits, reserved),
+        )
+
+    def _check_reserved(self, at_ms: float) -> None:
+        """What is reserved fits from here on, but for what was reserved when less capacity was stated."""
+        for zone in (WHOLE_CLUSTER, *self.zones):
+            self._check_reserved_in(zone, at_ms)
+
+    def _check_reserved_in(self, zone: str, at_ms: float) -> None:
+        peak, available = self._profile(zone).peak(at_ms, math.inf), self.available(zone)
+        overcommitted = self._overcommitted.get(zone, 0.0)
+        self._rules.check(
+            Rule.CONTRACTS_FIT,
+            peak <= max(available, overcommitted) + ROUNDING_TOLERANCE,
+            lambda: f"{peak:g} units a second promised, {available:g} may be",
+        )
+        self._overcommitted[zone] = min(overcommitted, peak) if peak > available else 0.0
+
+    def _forget_oldest_settled(self) -> None:
+        settled = [name for name, one in self.contracts.items() if one.state is ContractState.SETTLED]
+        for name in settled[: max(len(settled) - MAX_SETTLED_CONTRACTS, 0)]:
+            del self.contracts[name]
+
+    # Work of the leader
+    # ------------------------------------------------------------------------------------
+
+    def leader_tasks(self, view: LeaderView) -> list[Command]:
+        """See badgeryoke.cluster.state_machine.part.  States the measured capacity, moves contracts on with
+        time, and opens versions at the tenants' groups."""
+        tasks: list[Command] = [*self._restate_capacity(view)]
+        tail_ms = self.lease_tail_ms
+        if any(one.due_event(view.wall, tail_ms) is not None for one in self.contracts.values()):
+            tasks.append(AdvanceContracts(id="pass"))
+        return tasks + self._open_versions(view.now)
+
+    def _restate_capacity(self, view: LeaderView) -> list[Command]:
+        capacity = view.load.get("capacity", 0.0)
+        if capacity <= 0.0 or abs(capacity - self.capacity) <= CAPACITY_CHANGE_FRACTION * self.capacity:
+            return []
+        return [
+            SetCapacity(
+                id=f"capacity/{self.capacity_revision}",
+                capacity=capacity,
+                reserve_fraction=view.load.get("reserve", 1.0 / max(len(view.halls), MIN_ZONES)),
+                unreserved_rate=view.load.get("floor", DEFAULT_UNRESERVED_FRACTION * capacity),
+            )
+        ]
+
+    def _open_versions(self, now: float) -> list[Command]:
+        """Versions that the tenants' groups have not confirmed yet."""
+        unconfirmed = {
+            f"open/{contract.name}/{version.number}": (contract.name, version)
+            for contract in self.contracts.values()
+            if contract.is_live
+            for version in contract.versions
+            if version.number > contract.confirmed_version
+        }
+        tasks: list[Command] = []
+        for request_id in self._open_retries.due(unconfirmed, now):
+            name, version = unconfirmed[request_id]
+            tasks.append(
+                OpenContract(
+                    id=request_id,
+                    tenant=version.terms.tenant,
+                    contract=name,
+                    version=version.number,
+                    rate=version.terms.rate,
+                    burst=version.terms.burst,
+                    intervals=tuple(version.intervals),
+                    effective_from_ms=version.effective_from_ms,
+                )
+            )
+        return tasks
+
+    def seen(self, now: float) -> None:
+        """See badgeryoke.cluster.state_machine.part.  Nothing here expires by this machine's clock."""
+
+    # Answers and snapshots
+    # ------------------------------------------------------------------------------------
+
+    def query(self, command: Command) -> ApplyResult:
+        """See badgeryoke.cluster.state_machine.part."""
+        match command:
+            case PollContracts():
+                return ApplyResult(self._contracts_answer(command.known_revision))
+            case _:
+                return ApplyResult(
+                    {
+                        "capacity": self.capacity,
+                        "reserve": self.reserve_fraction,
+                        "floor": self.unreserved_rate,
+                        "contracts": {one.name: contract_status(one) for one in self.contracts.values()},
+                    }
+                )
+
+    def _contracts_answer(self, known_revision: int) -> dict[str, Any]:
+        """A `ContractsAnswer` as plain data, as answers are sent."""
+        if known_revision == self.revision:
+            return {"known": self.revision}
+        live = tuple(contract_facts(contract) for contract in self.contracts.values() if contract.is_live)
+        answer: dict[str, Any] = msgspec.to_builtins(ContractsAnswer(revision=self.revision, contracts=live))
+        return answer
+
+    def dump(self) -> Any:
+        """See badgeryoke.cluster.state_machine.part."""
+        return [
+            [self.capacity, self.reserve_fraction, self.unreserved_rate],
+            self.zones,
+            [self.last_version, self.capacity_revision, self.revision],
+            self._overcommitted,
+            [dump_contract(contract) for contract in self.contracts.values()],
+        ]
+
+    def load(self, raw: Any) -> None:
+        """See badgeryoke.cluster.state_machine.part."""
+        figures, self.zones, counters, self._overcommitted, records = raw
+        self.capacity, self.reserve_fraction, self.unreserved_rate = figures
+        self.last_version, self.capacity_revision, self.revision = counters
+        self._open_retries.clear()
+        contracts = [load_contract(record) for record in records]
+        self.contracts = {contract.name: contract for contract in contracts}
+
+
+def _check_new_terms(
+    contract: Contract, terms: ContractTerms, effective_from_ms: float
+) -> InvalidCall | None:
+    """Why a contract can't change to these terms."""
+    old = contract.newest.terms
+    if (terms.tenant, terms.zone) != (old.tenant, old.zone):
+        return InvalidCall(contract.name, "tenant: it stays, and the hall as well")
+    if expand_windows(terms.windows)[-1].end_ms <= effective_from_ms:
+        return InvalidCall(contract.name, "windows: expected one that ends behind holds_from_ms")
+    return None
--- /dev/null
+++ b/badgeryoke/cluster/reservations/commands.py
@@ -0,0 +1,349 @@
+"""Commands on contracts, and the typed forms of their answers.
+
+The first half goes to the cluster's own group, which admits contracts; the second half goes to the group of
+a tenant, which divides each contract into leases.  A command is stored and called by its `tag` and by the
+field names that `name=` states: those are interfaces and keep their old form.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import ClassVar, NamedTuple
+
+import msgspec
+
+from badgeryoke.cluster.messages import MemberId
+from badgeryoke.cluster.reservations.terms import (
+    MAX_COUNTER,
+    MAX_INTERVALS_PER_CONTRACT,
+    MAX_RATE,
+    ContractTerms,
+    Interval,
+    validate_contract_name,
+    validate_counter,
+)
+from badgeryoke.cluster.state_machine.part import Command
+
+MAX_SLICES_PER_REPORT = 256
+MAX_ZONES = 64
+MAX_NAME_LENGTH = 200  # of a member, with its process where it reports
+MAX_CAUSE_LENGTH = 40
+MAX_PROCESS_LENGTH = 64
+MAX_SLICE_NUMBER = 1e12
+
+
+# Commands of the cluster's own group
+# ---------------------------------------------------------------------------------------
+
+
+class SetCapacity(Command, frozen=True, kw_only=True, tag="Capacity"):
+    """State what the cluster can carry, units a second.  `reserve_fraction`: kept for losses;
+    `unreserved_rate`: kept for requests without a contract; `zones`: the capacity of each zone, where known."""
+
+    capacity: float = msgspec.field(name="units")
+    reserve_fraction: float = msgspec.field(name="reserve")
+    unreserved_rate: float = msgspec.field(name="floor")
+    zones: dict[str, float] = msgspec.field(default_factory=dict, name="halls")
+
+    def validate(self) -> str:
+        """See badgeryoke.cluster.state_machine.part."""
+        if not 0.0 <= self.capacity <= MAX_RATE or not 0.0 <= self.unreserved_rate <= MAX_RATE:
+            return "units: expected 0 to 1e9, and floor as well"
+        if len(self.zones) > MAX_ZONES or not all(0.0 <= zone <= MAX_RATE for zone in self.zones.values()):
+            return "halls: expected 64 at the most, each 0 to 1e9"
+        if not 0.0 <= self.reserve_fraction < 1.0:
+            return f"reserve: expected 0 to below 1, got {self.reserve_fraction!r}"
+        return ""
+
+
+class ContractCommand(Command, frozen=True, kw_only=True):
+    """A command on one contract, for the cluster's own group."""
+
+    contract: str
+
+
+class ProposeContract(ContractCommand, frozen=True, kw_only=True, tag="Propose"):
+    """Propose a contract under a name of its own.  Answers with its status, or with InsufficientCapacity,
+    which states what would fit and when."""
+
+    terms: ContractTerms
+
+    def validate(self) -> str:
+        """See badgeryoke.cluster.state_machine.part."""
+        return validate_contract_name(self.contract) or self.terms.validate()
+
+
+class ChangeContract(ContractCommand, frozen=True, kw_only=True, tag="Change"):
+    """Replace a contract's terms from one moment on, at all gateways.  Tenant and zone stay."""
+
+    terms: ContractTerms
+    effective_from_ms: float = msgspec.field(name="holds_from_ms")  # Unix ms
+
+    def validate(self) -> str:
+        """See badgeryoke.cluster.state_machine.part."""
+        if not 0.0 < self.effective_from_ms < math.inf:
+            return "holds_from_ms: expected a moment, Unix ms"
+        return validate_contract_name(self.contract) or self.terms.validate()
+
+
+class CancelContract(ContractCommand, frozen=True, kw_only=True, tag="CancelContract"):
+    """End a contract early.  It holds for two lease times yet, then its capacity is free."""
+
+
+class VersionDrained(ContractCommand, frozen=True, kw_only=True, tag="Told"):
+    """The tenant's group applies that version, and no lease of an earlier one is left."""
+
+    version: int
+
+    def validate(self) -> str:
+        """See badgeryoke.cluster.state_machine.part."""
+        return validate_counter("version", self.version)
+
+
+class ReportShortfall(ContractCommand, frozen=True, kw_only=True, tag="Short"):
+    """Units within the contract that were not served at one gateway, by cause.  A running total since
+    `since_ms` (Unix ms), so that a repeat adds nothing."""
+
+    once: ClassVar[bool] = False
+
+    reporter: str = msgspec.field(name="by")
+    cause: str
+    units: float
+    since_ms: float
+
+    def validate(self) -> str:
+        """See badgeryoke.cluster.state_machine.part."""
+        if not 0 < len(self.reporter) <= MAX_NAME_LENGTH or not 0 < len(self.cause) <= MAX_CAUSE_LENGTH:
+            return "by: expected a name, and a cause"
+        if not (0.0 < self.units < math.inf and 0.0 <= self.since_ms < math.inf):
+            return "units: expected above 0"
+        return ""
+
+
+class AdvanceContracts(Command, frozen=True, kw_only=True, tag="Pass"):
+    """Time has passed: contracts change their states."""
+
+    once: ClassVar[bool] = False
+
+
+class ReadContracts(Command, frozen=True, kw_only=True, tag="ContractsRead"):
+    """Read all contracts, for operators: state, terms and shortfalls, and the stated capacity."""
+
+    reads: ClassVar[bool] = True
+
+
+class PollContracts(Command, frozen=True, kw_only=True, tag="ContractsKnown"):
+    """Read what a gateway needs to know of contracts; the answer is the revision alone where the gateway
+    has that already."""
+
+    reads: ClassVar[bool] = True
+
+    known_revision: int = msgspec.field(default=-1, name="have")
+
+    def validate(self) -> str:
+        """See badgeryoke.cluster.state_machine.part."""
+        return validate_counter("have", self.known_revision + 1)
+
+
+# Commands of a tenant's group
+# ----------------------------------------------------------------------------------------
+
+
+class TenantCommand(Command, frozen=True, kw_only=True):
+    """A command on one contract, for the group of its tenant."""
+
+    tenant: str
+    contract: str
+
+    def key(self) -> str:
+        """See badgeryoke.cluster.state_machine.part."""
+        return f"t:{self.tenant}"
+
+
+class OpenContract(TenantCommand, frozen=True, kw_only=True, tag="Open"):
+    """Apply a version from its moment on (a first one: at once)."""
+
+    version: int
+    rate: float
+    burst: float
+    intervals: tuple[Interval, ...] = msgspec.field(name="times")
+    effective_from_ms: float = msgspec.field(name="holds_from_ms")
+
+    def validate(self) -> str:
+        """See badgeryoke.cluster.state_machine.part."""
+        valid = (
+            1 <= self.version < MAX_COUNTER and 0.0 < self.rate <= MAX_RATE and 0.0 <= self.burst <= MAX_RATE
+        )
+        return "" if valid and len(self.intervals) <= MAX_INTERVALS_PER_CONTRACT else "version: out of bounds"
+
+
+class RequestLease(TenantCommand, frozen=True, kw_only=True, tag="Lease"):
+    """Renew, shrink, grow or give back a share of a contract's rate and burst; answered by a `LeaseAnswer`.
+    For the figures see `badgeryoke.cluster.leases.lease_pool.LeasePool.request`."""
+
+    once: ClassVar[bool] = False  # the lease number states the order; the last answer is kept for a repeat
+
+    holder: MemberId
+    lease_number: int = msgspec.field(name="number")  # 0: it holds no lease
+    kept_rate: float = msgspec.field(name="keep")
+    wanted_rate: float = msgspec.field(name="wish")
+    returned_units: float = msgspec.field(name="room")
+    kept_depth: float = msgspec.field(default=0.0, name="hold")
+    wanted_units: float = msgspec.field(default=0.0, name="need")
+    takes_spare: bool = msgspec.field(default=False, name="soft")
+    min_depth: float = msgspec.field(default=0.0, name="least")
+    draws_per_request: bool = msgspec.field(default=False, name="pulls")
+    process: str = ""  # of the holder
+    # Of the calls of that process, from 1: a call that arrives after a later one is stale; 0: not ordered.
+    sequence: int = msgspec.field(default=0, name="order")
+
+    def validate(self) -> str:
+        """See badgeryoke.cluster.state_machine.part."""
+        amounts = (
+            self.kept_rate,
+            self.wanted_rate,
+            self.returned_units,
+            self.kept_depth,
+            self.wanted_units,
+            self.min_depth,
+        )
+        if not all(0.0 <= amount <= MAX_RATE for amount in amounts):
+            return "keep: expected 0 to 1e9, and the other figures as well"
+        if problem := validate_counter("number", self.lease_number):
+            return problem
+        if problem := validate_counter("order", self.sequence):
+            return problem
+        if not 0 < len(self.holder) <= MAX_NAME_LENGTH or len(self.process) > MAX_PROCESS_LENGTH:
+            return "holder: expected a name"
+        return ""
+
+
+class SwitchVersion(TenantCommand, frozen=True, kw_only=True, tag="TurnFloor"):
+    """The moment of a pending version has come, or usage is due to be settled, though no gateway calls."""
+
+    once: ClassVar[bool] = False
+
+
+class UsageSlice(NamedTuple):
+    """What was requested and drawn at one gateway in one slice of the group's time.  Sent as an array."""
+
+    number: int  # the group's time divided by SLICE_MS
+    requested: float  # units
+    drawn: float  # units
+
+
+class ReportUsage(TenantCommand, frozen=True, kw_only=True, tag="Used"):
+    """What was requested within a contract at one gateway, and what of that was drawn.  A slice that is
+    reported again replaces the earlier report."""
+
+    once: ClassVar[bool] = False
+
+    reporter: str = msgspec.field(name="by")
+    slices: tuple[UsageSlice, ...]
+
+    def validate(self) -> str:
+        """See badgeryoke.cluster.state_machine.part."""
+        valid = all(
+            0 <= number <= MAX_SLICE_NUMBER and 0.0 <= requested <= MAX_RATE and 0.0 <= drawn <= MAX_RATE
+            for number, requested, drawn in self.slices
+        )
+        if not valid or len(self.slices) > MAX_SLICES_PER_REPORT:
+            return "slices: out of bounds"
+        return "" if 0 < len(self.reporter) <= MAX_NAME_LENGTH else "slices: out of bounds"
+
+
+class ReleaseLease(TenantCommand, frozen=True, kw_only=True, tag="EndLease"):
+    """A lease has expired by the leader's clock, and so by its holder's."""
+
+    once: ClassVar[bool] = False  # a lease number is given once
+
+    holder: MemberId
+    lease_number: int = msgspec.field(name="number")
+
+    def validate(self) -> str:
+        """See badgeryoke.cluster.state_machine.part."""
+        return validate_counter("number", self.lease_number)
+
+
+FLEET_COMMANDS: tuple[type[Command], ...] = (
+    SetCapacity,
+    ProposeContract,
+    ChangeContract,
+    CancelContract,
+    VersionDrained,
+    ReportShortfall,
+    AdvanceContracts,
+    ReadContracts,
+    PollContracts,
+)
+TENANT_COMMANDS: tuple[type[Command], ...] = (
+    OpenContract,
+    RequestLease,
+    ReportUsage,
+    ReleaseLease,
+    SwitchVersion,
+)
+
+
+def contract_of(command: Command) -> str:
+    """The contract that a command names; empty where it is about none."""
+    match command:
+        case ContractCommand() | TenantCommand():
+            return command.contract
+    return ""
+
+
+# Answers: sent as plain data by these field names
+# ----------------------------------------------------------------------------------------
+
+
+class LeaseAnswer(msgspec.Struct, frozen=True):
+    """The answer to a `RequestLease`: the lease that the holder has from here on, and what it needs to know
+    of the other holders (see `badgeryoke.cluster.leases.lease_pool.LeaseGrant`)."""
+
+    lease_number: int = msgspec.field(name="number")  # 0: it holds none
+    share: float = msgspec.field(name="part")  # units a second
+    units: float = msgspec.field(name="room")  # for its bucket, beside those it has
+    depth: float = msgspec.field(name="cap")  # of its bucket, units
+    fair_share: float = msgspec.field(name="fair")
+    max_share: float = msgspec.field(name="most")
+    others_deficit: float = msgspec.field(name="lack")
+    fair_depth: float = msgspec.field(name="fair_cap")
+    slack: float = msgspec.field(name="spare")
+    holders: int
+    version: int
+    from_ms: float  # Unix ms: the window that it is for; 0: none
+    until_ms: float  # Unix ms: when the share changes by itself
+    later_fraction: float = msgspec.field(name="then")  # of the share that is left from `until_ms` on
+    at_ms: float  # the group's time
+    free_units: float = msgspec.field(name="free")  # units in no holder's bucket
+
+
+class VersionFacts(msgspec.Struct, frozen=True, kw_only=True):
+    """One version of a contract, as a gateway needs to know it."""
+
+    version: int = 0
+    customers: tuple[int, ...]
+    rate: float  # units a second
+    burst: float  # units
+    intervals: tuple[Interval, ...] = msgspec.field(name="times")
+    effective_from_ms: float = msgspec.field(name="holds_from_ms")
+
+
+class ContractFacts(msgspec.Struct, frozen=True, kw_only=True):
+    """One contract in the answer to a `PollContracts`."""
+
+    contract: str
+    tenant: str
+    rank: int
+    zone: str = msgspec.field(name="hall")
+    surplus: bool = True
+    confirmed_version: int = msgspec.field(default=0, name="told")
+    versions: tuple[VersionFacts, ...]
+
+
+class ContractsAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """The answer to a `PollContracts`.  `contracts`: absent where the gateway has that revision."""
+
+    revision: int = msgspec.field(name="known")
+    contracts: tuple[ContractFacts, ...] | None = None
--- /dev/null
+++ b/badgeryoke/cluster/reservations/guaranteed_rates.py
@@ -0,0 +1,439 @@
+"""Guaranteed rates: the part of a tenant's group that divides its contracts over the gateways.
+
+Each contract's rate and burst are leased to gateways by a `badgeryoke.cluster.leases.lease_pool.LeasePool`.
+A pending version takes effect at its moment; once no lease of an earlier version is left the cluster's own
+group is notified (`VersionDrained`).  Usage is settled here, and shortfalls are reported.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any, NamedTuple
+
+import msgspec
+
+from badgeryoke.cluster.errors import InvalidCall, LeaseExpired, NotFound, Overloaded
+from badgeryoke.cluster.invariants import Invariants, Rule
+from badgeryoke.cluster.leases.lease_pool import EPSILON, MAX_HOLDERS, LeaseGrant, LeasePool
+from badgeryoke.cluster.messages import MemberId
+from badgeryoke.cluster.reservations.commands import (
+    LeaseAnswer,
+    OpenContract,
+    ReleaseLease,
+    ReportShortfall,
+    ReportUsage,
+    RequestLease,
+    SwitchVersion,
+    TenantCommand,
+    VersionDrained,
+)
+from badgeryoke.cluster.reservations.contract import GRANT_AHEAD_MS
+from badgeryoke.cluster.reservations.retry_schedule import RetrySchedule
+from badgeryoke.cluster.reservations.settlement import (
+    BUSY_PERIOD_GAP_MS,
+    NO_LEASE,
+    SETTLEMENT_DELAY_SLICES,
+    SLICE_MS,
+    UsageTally,
+)
+from badgeryoke.cluster.reservations.terms import Interval
+from badgeryoke.cluster.state_machine.part import ApplyResult, Command, LeaderView
+from badgeryoke.cluster.timings import Timings
+
+MAX_CONTRACTS_PER_GROUP = 1000
+MAX_PROCESSES_PER_HOLDER = 4  # whose calls are told apart; no call outlives that many restarts
+RETENTION_LEASE_TIMES = 10  # behind its last window a contract is closed here
+ROUNDING_TOLERANCE = 1e-6  # units a second, of sums over leases
+
+
+class AnsweredRequest(NamedTuple):
+    """The last answered lease request of a holder, to answer a repeat alike.  Stored as an array."""
+
+    command_id: str
+    answer: dict[str, Any]  # a LeaseAnswer as plain data, as it is sent and stored
+
+
+@dataclass(slots=True)
+class GuaranteedRate:
+    """One contract as its tenant's group applies it."""
+
+    tenant: str
+    version: int
+    rate: float  # units a second
+    intervals: list[Interval]
+    pool: LeasePool
+    pending: OpenContract | None = None
+    last_lease_before: int = 0  # the last lease's number when this version came into force
+    answers: dict[MemberId, AnsweredRequest] = field(default_factory=dict)
+    # The last sequence number of each process of a holder; the newest process is last.
+    sequences: dict[MemberId, dict[str, int]] = field(default_factory=dict)
+    tally: UsageTally = field(default_factory=UsageTally)
+
+    def is_stale(self, command: RequestLease) -> bool:
+        """Whether a later call of that holder was applied already; if not, this one is noted as the last.
+        A holder without a lease may be forgotten and begins anew, and so does a process before the last
+        `MAX_PROCESSES_PER_HOLDER`."""
+        if not command.sequence:
+            return False
+        known = self.sequences.pop(command.holder, {})
+        stale = command.process in known and (
+            command.process != next(reversed(known)) or command.sequence <= known[command.process]
+        )
+        if not stale:
+            known[command.process] = command.sequence
+            if len(known) > MAX_PROCESSES_PER_HOLDER:
+                del known[next(iter(known))]
+        self.sequences[command.holder] = known
+        if len(self.sequences) > MAX_HOLDERS:
+            leases = self.pool.leases
+            forgotten = next((who for who in self.sequences if who not in leases), command.holder)
+            del self.sequences[forgotten]
+        return stale
+
+    def drained(self) -> bool:
+        """Whether no lease of an earlier version is left."""
+        within_target = self.pool.granted() <= self.pool.target + ROUNDING_TOLERANCE
+        return within_target and all(
+            lease.number > self.last_lease_before for lease in self.pool.leases.values()
+        )
+
+    def interval_at(self, at_ms: float) -> Interval | None:
+        """The interval for which leases are granted at a moment."""
+        return next(
+            (
+                interval
+                for interval in self.intervals
+                if interval.start_ms - GRANT_AHEAD_MS <= at_ms < interval.end_ms
+            ),
+            None,
+        )
+
+    def next_change(self, interval: Interval) -> tuple[float, float]:
+        """When a lease's share changes by itself (Unix ms), and the fraction of it that is left then: at
+        the window's end, or at the pending version's moment."""
+        pending = self.pending
+        if pending is None or pending.effective_from_ms >= interval.end_ms:
+            return interval.end_ms, 0.0
+        at_ms = pending.effective_from_ms
+        holds = any(start_ms <= at_ms < end_ms for start_ms, end_ms in pending.intervals)
+        return at_ms, min(pending.rate / self.rate, 1.0) if holds else 0.0
+
+    def dump(self) -> list[Any]:
+        """Plain data, as it is stored in a snapshot behind the contract's name."""
+        return [
+            self.tenant,
+            self.version,
+            self.rate,
+            self.intervals,
+            self.pool.dump(),
+            msgspec.to_builtins(self.pending),
+            self.last_lease_before,
+            self.answers,
+            self.sequences,
+            self.tally.dump(),
+        ]
+
+    @classmethod
+    def load(cls, record: list[Any]) -> GuaranteedRate:
+        """The reverse of `dump`."""
+        tenant, version, rate, intervals, pool, pending, last_lease_before, answers, sequences, tally = record
+        return cls(
+            tenant,
+            version,
+            rate,
+            [Interval(start_ms, end_ms) for start_ms, end_ms in intervals],
+            LeasePool.load(pool),
+            msgspec.convert(pending, OpenContract | None),
+            last_lease_before,
+            {holder: AnsweredRequest(*answered) for holder, answered in answers.items()},
+            sequences,
+            UsageTally.load(tally),
+        )
+
+
+class GuaranteedRates:
+    """Open contracts by name; a `StateMachinePart`."""
+
+    def __init__(self, timings: Timings, rules: Invariants) -> None:
+        self._timings, self._rules = timings, rules
+        self.contracts: dict[str, GuaranteedRate] = {}
+        # Of any contract: one that is opened again does not begin at 1.
+        self.last_lease_number = 0
+        self._drained_retries = RetrySchedule()
+        self._shortfall_retries = RetrySchedule()
+        self._unseen: set[str] = set()  # contracts with leases that this machine's clock has not seen yet
+
+    # Commands
+    # ------------------------------------------------------------------------------------
+
+    def apply(self, at_ms: float, command: Command) -> ApplyResult:
+        """See badgeryoke.cluster.state_machine.part."""
+        if not isinstance(command, TenantCommand):
+            return _unknown_command(command)
+        if problem := command.validate():
+            return ApplyResult(error=InvalidCall(command.contract, problem))
+        if isinstance(command, OpenContract):
+            return self._open(at_ms, command)
+        contract = self.contracts.get(command.contract)
+        if contract is None:
+            return ApplyResult(error=NotFound(command.contract, "no such contract is open here"))
+        self._apply_pending(at_ms, contract)
+        contract.pool.accrue(at_ms)
+        match command:
+            case RequestLease():
+                return self._request_lease(at_ms, contract, command)
+            case ReleaseLease():
+                return self._release_lease(contract, command)
+            case ReportUsage():
+                return self._record_usage(at_ms, contract, command)
+            case SwitchVersion():
+                return self._switch_version(at_ms, contract)
+        return _unknown_command(command)
+
+    def _open(self, at_ms: float, command: OpenContract) -> ApplyResult:
+        for name in [name for name, one in self.contracts.items() if self._is_over(at_ms, one)]:
+            del self.contracts[name]
+        contract = self.contracts.get(command.contract)
+        if contract is None:
+            if len(self.contracts) >= MAX_CONTRACTS_PER_GROUP:
+                return ApplyResult(
+                    error=Overloaded(
+                        command.contract, f"{MAX_CONTRACTS_PER_GROUP} contracts are open in this group"
+                    )
+                )
+            pool = LeasePool(0.0, 0.0, even_split=False)
+            contract = GuaranteedRate(command.tenant, 0, 0.0, [], pool)
+            self.contracts[command.contract] = contract
+        self._apply_pending(at_ms, contract)
+        if command.version > contract.version:
+            if at_ms >= command.effective_from_ms:
+                self._switch_to(contract, command)
+            elif contract.pending is None or command.version > contract.pending.version:
+                contract.pending = command
+        return ApplyResult(contract.version)
+
+    def _is_over(self, at_ms: float, contract: GuaranteedRate) -> bool:
+        """Whether the last window is over and the last lease has expired."""
+        last_end_ms = contract.intervals[-1].end_ms if contract.intervals else 0.0
+        retained_ms = RETENTION_LEASE_TIMES * self._timings.outlast()
+        return contract.pending is None and not contract.pool.leases and at_ms > last_end_ms + retained_ms
+
+    def _apply_pending(self, at_ms: float, contract: GuaranteedRate) -> None:
+        """A pending version takes effect at its moment."""
+        if contract.pending is not None and at_ms >= contract.pending.effective_from_ms:
+            self._switch_to(contract, contract.pending)
+
+    def _switch_to(self, contract: GuaranteedRate, opened: OpenContract) -> None:
+        first = contract.version == 0
+        contract.version, contract.rate = opened.version, opened.rate
+        contract.intervals, contract.tenant = list(opened.intervals), opened.tenant
+        contract.pool.resize(opened.rate if opened.intervals else 0.0, opened.burst)
+        if first:
+            contract.pool.free_units = opened.burst
+        if contract.pending is not None and contract.pending.version <= opened.version:
+            contract.pending = None
+        contract.last_lease_before = self.last_lease_number
+
+    def _request_lease(self, at_ms: float, contract: GuaranteedRate, command: RequestLease) -> ApplyResult:
+        answered = contract.answers.get(command.holder)
+        if answered is not None and answered.command_id == command.id:
+            return ApplyResult(answered.answer)
+        if contract.is_stale(command):
+            return ApplyResult(
+                error=LeaseExpired(command.holder, "a later call of this holder was taken already")
+            )
+        interval = contract.interval_at(at_ms)
+        grant = self._grant(contract, command, within_window=interval is not None)
+        if not isinstance(grant, LeaseGrant):
+            return ApplyResult(error=grant)
+        if grant.number:
+            self._check_number(command.contract, grant.number)
+            self.last_lease_number = grant.number
+            self._unseen.add(command.contract)
+        answer: dict[str, Any] = msgspec.to_builtins(_lease_answer(at_ms, contract, interval, grant))
+        if grant.number:
+            contract.answers[command.holder] = AnsweredRequest(command.id, answer)
+        else:
+            contract.answers.pop(command.holder, None)
+        return ApplyResult(answer)
+
+    def _grant(
+        self, contract: GuaranteedRate, command: RequestLease, within_window: bool
+    ) -> LeaseGrant | InvalidCall | LeaseExpired:
+        """Outside of a window nothing is granted; what a holder keeps counts until it gives it back."""
+        pool = contract.pool
+        pool.last_number = self.last_lease_number
+        return pool.request(
+            command.holder,
+            command.lease_number,
+            command.kept_rate,
+            min(command.wanted_rate, pool.target) if within_window else 0.0,
+            command.returned_units,
+            self._rules,
+            command.kept_depth,
+            command.wanted_units,
+            command.takes_spare and within_window,
+            command.min_depth,
+            command.draws_per_request,
+        )
+
+    def _check_number(self, contract: str, number: int) -> None:
+        self._rules.check(
+            Rule.LEASE_ONCE,
+            number > self.last_lease_number,
+            lambda: f"{contract}: lease {number} was given before",
+        )
+
+    @staticmethod
+    def _release_lease(contract: GuaranteedRate, command: ReleaseLease) -> ApplyResult:
+        released = contract.pool.release(command.holder, command.lease_number)
+        if released:
+            contract.answers.pop(command.holder, None)
+        return ApplyResult(released)
+
+    @staticmethod
+    def _record_usage(at_ms: float, contract: GuaranteedRate, command: ReportUsage) -> ApplyResult:
+        newest = int(at_ms // SLICE_MS)
+        contract.tally.record(command.reporter, command.slices, contract.rate, newest)
+        contract.tally.settle(newest - SETTLEMENT_DELAY_SLICES, contract.rate, contract.pool.depth)
+        return ApplyResult()
+
+    @staticmethod
+    def _switch_version(at_ms: float, contract: GuaranteedRate) -> ApplyResult:
+        """The pending version was applied before; usage is settled, as nobody may report any more."""
+        tally = contract.tally
+        if tally.open_slices or tally.undrawn:
+            until = int(at_ms // SLICE_MS) - SETTLEMENT_DELAY_SLICES
+            tally.settle(until, contract.rate, contract.pool.depth)
+        return ApplyResult(contract.version)
+
+    # Work of the leader
+    # ------------------------------------------------------------------------------------
+
+    def leader_tasks(self, view: LeaderView) -> list[Command]:
+        """See badgeryoke.cluster.state_machine.part.  Releases leases that have expired by this machine's
+        clock, notifies of drained versions, and lets versions and settlement go on with time."""
+        self.seen(view.now)
+        return [
+            *self._release_expired(view),
+            *self._notify_drained(view.now),
+            *self._switch_pending(view.wall),
+            *self._settle_idle(view.wall),
+            *self._report_shortfalls(view.now),
+        ]
+
+    def _release_expired(self, view: LeaderView) -> list[Command]:
+        return [
+            ReleaseLease(
+                id=f"end/{name}/{number}",
+                tenant=contract.tenant,
+                contract=name,
+                holder=holder,
+                lease_number=number,
+            )
+            for name, contract in self.contracts.items()
+            for holder, number in contract.pool.expired(view.now, self._timings.outlast(), view.lead_since)
+        ]
+
+    def _notify_drained(self, now: float) -> list[Command]:
+        drained = {
+            f"told/{name}/{contract.version}": (name, contract.version)
+            for name, contract in self.contracts.items()
+            if contract.version and contract.drained()
+        }
+        tasks: list[Command] = []
+        for request_id in self._drained_retries.due(drained, now):
+            name, version = drained[request_id]
+            tasks.append(VersionDrained(id=request_id, contract=name, version=version))
+        return tasks
+
+    def _switch_pending(self, wall: float) -> list[Command]:
+        """Versions whose moment has come, though no gateway may call."""
+        return [
+            SwitchVersion(id="turn", tenant=contract.tenant, contract=contract.pending.contract)
+            for contract in self.contracts.values()
+            if contract.pending is not None and wall >= contract.pending.effective_from_ms
+        ]
+
+    def _settle_idle(self, wall: float) -> list[Command]:
+        """Usage that is due to be settled, though no gateway may report."""
+        until = int((wall - BUSY_PERIOD_GAP_MS) // SLICE_MS) - SETTLEMENT_DELAY_SLICES
+        return [
+            SwitchVersion(id="tally", tenant=contract.tenant, contract=name)
+            for name, contract in self.contracts.items()
+            if contract.tally.needs_settling(until)
+        ]
+
+    def _report_shortfalls(self, now: float) -> list[Command]:
+        shortfalls = {
+            f"short/{name}/{contract.tally.shortfall:.3f}": (name, contract.tally)
+            for name, contract in self.contracts.items()
+            if contract.tally.shortfall > EPSILON
+        }
+        tasks: list[Command] = []
+        for request_id in self._shortfall_retries.due(shortfalls, now):
+            name, tally = shortfalls[request_id]
+            tasks.append(
+                ReportShortfall(
+                    id=request_id,
+                    contract=name,
+                    reporter="-",
+                    cause=NO_LEASE,
+                    units=tally.shortfall,
+                    since_ms=tally.last_slice * SLICE_MS,
+                )
+            )
+        return tasks
+
+    def seen(self, now: float) -> None:
+        """See badgeryoke.cluster.state_machine.part."""
+        for name in self._unseen:
+            if name in self.contracts:
+                self.contracts[name].pool.mark_seen(now)
+        self._unseen.clear()
+
+    # Snapshots
+    # ------------------------------------------------------------------------------------
+
+    def dump(self) -> Any:
+        """See badgeryoke.cluster.state_machine.part."""
+        return [
+            self.last_lease_number,
+            [[name, *contract.dump()] for name, contract in self.contracts.items()],
+        ]
+
+    def load(self, raw: Any) -> None:
+        """See badgeryoke.cluster.state_machine.part."""
+        self.last_lease_number, records = raw
+        self._drained_retries.clear()
+        self._shortfall_retries.clear()
+        self.contracts = {name: GuaranteedRate.load(record) for name, *record in records}
+        self._unseen = set(self.contracts)
+
+
+def _unknown_command(command: Command) -> ApplyResult:
+    return ApplyResult(error=InvalidCall("floors", f"unknown command {command.command_name()}"))
+
+
+def _lease_answer(
+    at_ms: float, contract: GuaranteedRate, interval: Interval | None, grant: LeaseGrant
+) -> LeaseAnswer:
+    until_ms, later_fraction = contract.next_change(interval) if interval is not None else (0.0, 0.0)
+    return LeaseAnswer(
+        lease_number=grant.number,
+        share=grant.share,
+        units=grant.units,
+        depth=grant.depth,
+        fair_share=grant.fair_share,
+        max_share=grant.max_share,
+        others_deficit=grant.others_deficit,
+        fair_depth=grant.fair_depth,
+        slack=grant.slack,
+        holders=grant.holders,
+        version=contract.version,
+        from_ms=interval.start_ms if interval is not None else 0.0,
+        until_ms=until_ms,
+        later_fraction=later_fraction,
+        at_ms=at_ms,
+        free_units=contract.pool.free_units,
+    )
--- a/badgeryoke/cluster/reservations/lease_client.py
+++ b/badgeryoke/cluster/reservations/lease_client.py
@@ -31,17 +31,16 @@
 from badgeryoke.cluster.errors import ClusterError, InvalidCall, LeaseExpired, NotFound
 from badgeryoke.cluster.leases.lease_pool import EPSILON, STANDBY
 from badgeryoke.cluster.messages import MemberId
-from badgeryoke.cluster.reservations.contract import (
-    COARSE,
-    GRANT_AHEAD_MS,
-    MAX_WAIT_MS,
-    MOST_TOLD,
-    SLICE_MS,
+from badgeryoke.cluster.reservations.commands import (
+    MAX_SLICES_PER_REPORT,
     PollContracts,
     ReportShortfall,
     ReportUsage,
     RequestLease,
+    UsageSlice,
 )
+from badgeryoke.cluster.reservations.contract import GRANT_AHEAD_MS
+from badgeryoke.cluster.reservations.settlement import MAX_WAIT_MS, SLICE_MS, SLICES_PER_BIN
 from badgeryoke.cluster.state_machine.part import ApplyResult, Command
 from badgeryoke.cluster.timings import Timings
 
@@ -247,7 +246,7 @@
         recent = next(reversed(kept)) - int((MAX_WAIT_MS + LATE_TURN_MS) // SLICE_MS)
         self.slices = {}
         for number, (asked, drawn) in [item for item in kept.items() if item[0] <= recent]:
-            one = self.slices.setdefault(number // COARSE * COARSE, [0.0, 0.0])
+            one = self.slices.setdefault(number // SLICES_PER_BIN * SLICES_PER_BIN, [0.0, 0.0])
             one[0], one[1] = one[0] + asked, one[1] + drawn
         while len(self.slices) > MOST_SLICES * 3 // 4:
             del self.slices[next(iter(self.slices))]
@@ -358,7 +357,7 @@
                 and now >= one.report
                 and (used := self._used(now, wall, one)) is not None
             ):
-                one.report = now + (USED_MS if len(used.slices) < MOST_TOLD else 0.0)
+                one.report = now + (USED_MS if len(used.slices) < MAX_SLICES_PER_REPORT else 0.0)
                 busy.add(self._line(used))
                 yield used
         if "" in busy:
@@ -385,9 +384,9 @@
     def _used(self, now: float, wall: float, one: ContractLease) -> ReportUsage | None:
         """What was asked for and drawn, in slices that are over and can change no more."""
         last = int((one.time(now, wall) - MAX_WAIT_MS - LATE_TURN_MS) // SLICE_MS)
-        told = [(number, asked, drawn) for number, (asked, drawn) in one.slices.items() if number < last][
-            :MOST_TOLD
-        ]
+        told = [
+            UsageSlice(number, asked, drawn) for number, (asked, drawn) in one.slices.items() if number < last
+        ][:MAX_SLICES_PER_REPORT]
         return (
             ReportUsage(
                 id=self._id(),
--- a/badgeryoke/cluster/state_machine/machine.py
+++ b/badgeryoke/cluster/state_machine/machine.py
@@ -18,7 +18,9 @@
 from badgeryoke.cluster.errors import DuplicateId, InvalidCall
 from badgeryoke.cluster.invariants import Invariants, Rule
 from badgeryoke.cluster.placement import directory
-from badgeryoke.cluster.reservations import contract
+from badgeryoke.cluster.reservations.admission import ContractRegistry
+from badgeryoke.cluster.reservations.commands import FLEET_COMMANDS, TENANT_COMMANDS
+from badgeryoke.cluster.reservations.guaranteed_rates import GuaranteedRates
 from badgeryoke.cluster.rolling_restart import restart
 from badgeryoke.cluster.state_machine.part import FLEET, ApplyResult, Command, LeaderView
 from badgeryoke.cluster.timings import Timings
@@ -57,9 +59,9 @@
 REGISTRY = CommandRegistry()
 REGISTRY.add("promises", key_value.COMMANDS, lambda timings, rules: key_value.KeyValueStore(), False)
 REGISTRY.add("placing", directory.COMMANDS, directory.PlacementDirectory, True)
-REGISTRY.add("contracts", contract.FLEET_COMMANDS, contract.ContractRegistry, True)
+REGISTRY.add("contracts", FLEET_COMMANDS, ContractRegistry, True)
 REGISTRY.add("rolls", restart.COMMANDS, lambda timings, rules: restart.RollingRestarts(rules), True)
-REGISTRY.add("floors", contract.TENANT_COMMANDS, contract.GuaranteedRates, False)
+REGISTRY.add("floors", TENANT_COMMANDS, GuaranteedRates, False)
 REGISTRY.add(
     "connections",
     connection_limits.COMMANDS,
--- a/badgeryoke/gateway/reserved_admission.py
+++ b/badgeryoke/gateway/reserved_admission.py
@@ -11,8 +11,8 @@
 from collections.abc import Callable, Mapping
 from typing import Any, Protocol
 
-from badgeryoke.cluster.reservations.contract import MAX_WAIT_MS
 from badgeryoke.cluster.reservations.lease_client import ReservedUnits
+from badgeryoke.cluster.reservations.settlement import MAX_WAIT_MS
 from badgeryoke.gateway.actor import ActorScheduler
 from badgeryoke.gateway.attempt import Request
 from badgeryoke.gateway.dispatcher import LATE
--- a/badgeryoke/testbed/checkers/contract_ledger.py
+++ b/badgeryoke/testbed/checkers/contract_ledger.py
@@ -15,7 +15,7 @@
 
 from dataclasses import dataclass, field
 
-from badgeryoke.cluster.reservations.contract import BUSY_PERIOD_GAP_MS
+from badgeryoke.cluster.reservations.settlement import BUSY_PERIOD_GAP_MS
 
 EDGE = 1e-6
 LEFT_OUT_MS = 2000.0  # behind a loss, of the floor
--- a/badgeryoke/testbed/cluster_simulation/gateway.py
+++ b/badgeryoke/testbed/cluster_simulation/gateway.py
@@ -19,8 +19,9 @@
 from badgeryoke.cluster.connection_limits import ConnectionLeaseHolder, process
 from badgeryoke.cluster.invariants import InvariantViolation
 from badgeryoke.cluster.messages import member_name
-from badgeryoke.cluster.reservations.contract import ContractTerms, ProposeContract, ReadContracts, Window
+from badgeryoke.cluster.reservations.commands import ProposeContract, ReadContracts
 from badgeryoke.cluster.reservations.lease_client import ReservationClient
+from badgeryoke.cluster.reservations.terms import ContractTerms, Window
 from badgeryoke.cluster.rolling_restart.restart import (
     DesiredState,
     ReadRollingRestarts,
--- a/tests/cluster/reservations/test_contracts.py
+++ b/tests/cluster/reservations/test_contracts.py
@@ -34,14 +34,11 @@
 from badgeryoke.cluster.invariants import Invariants, InvariantViolation, Rule
 from badgeryoke.cluster.leases import lease_pool
 from badgeryoke.cluster.leases.lease_pool import LeaseGrant, LeasePool
-from badgeryoke.cluster.reservations import contract
-from badgeryoke.cluster.reservations.contract import (
+from badgeryoke.cluster.reservations.admission import ContractRegistry
+from badgeryoke.cluster.reservations.commands import (
     AdvanceContracts,
     CancelContract,
     ChangeContract,
-    ContractRegistry,
-    ContractTerms,
-    GuaranteedRates,
     OpenContract,
     ProposeContract,
     ReadContracts,
@@ -49,10 +46,12 @@
     RequestLease,
     SetCapacity,
     VersionDrained,
-    Window,
 )
+from badgeryoke.cluster.reservations.guaranteed_rates import GuaranteedRates
 from badgeryoke.cluster.reservations.lease_client import ReservationClient
 from badgeryoke.cluster.reservations.priority_shedding import CapacityClaim, CapacityShares, split_capacity
+from badgeryoke.cluster.reservations.settlement import NO_LEASE
+from badgeryoke.cluster.reservations.terms import ContractTerms, Window, expand_windows
 from badgeryoke.cluster.state_machine.part import ApplyResult, Command, LeaderView
 from badgeryoke.cluster.timings import Timings
 
@@ -233,7 +232,7 @@
             got = propose(part, 0.0, f"{number}b", one).error
             assert got is None
         if got is None:
-            held += [(begin, end + TAIL, one.rate) for begin, end in contract.expand_windows(one.windows)]
+            held += [(begin, end + TAIL, one.rate) for begin, end in expand_windows(one.windows)]
     for at in {begin for begin, _, _ in held}:
         assert sum(rate for begin, end, rate in held if begin <= at < end) <= 100.0 + 1e-6
 
@@ -751,7 +750,7 @@
     back = [n for n in range(int(rest[1] // 100) + 1, 300) if lent[n] > 0.05 * 60.0]
     assert max(back, default=0) <= int((rest[1] + 250.0) // 100)
     town.run(town.end + 15_000.0)
-    told = town.part.contracts["p"].shortfalls.get(contract.NO_LEASE, {}).get("-", 0.0)
+    told = town.part.contracts["p"].shortfalls.get(NO_LEASE, {}).get("-", 0.0)
     due = 2 * 30.0 + 60.0 * 32.0  # a burst after each rest, and the rate
     assert told == pytest.approx(due - sum(served), abs=0.01 * due)
 
@@ -768,7 +767,7 @@
     town.run(10_000.0)
     drawn = town.floors[2].leases["p"].drawn
     town.run(45_000.0)
-    told = town.part.contracts["p"].shortfalls[contract.NO_LEASE]["-"]
+    told = town.part.contracts["p"].shortfalls[NO_LEASE]["-"]
     missed = 7.0 * 60.0  # from its lease's end until it hears again
     assert drawn > 0.0 and missed <= told <= 1.15 * missed
 
--- a/tests/cluster/test_behaviour_digests.py
+++ b/tests/cluster/test_behaviour_digests.py
@@ -85,11 +85,10 @@
 )
 from badgeryoke.cluster.raft.log import encode_config
 from badgeryoke.cluster.raft.node import MOST_BODY, RaftNode
-from badgeryoke.cluster.reservations.contract import (
+from badgeryoke.cluster.reservations.commands import (
     AdvanceContracts,
     CancelContract,
     ChangeContract,
-    ContractTerms,
     OpenContract,
     PollContracts,
     ProposeContract,
@@ -100,13 +99,13 @@
     RequestLease,
     SetCapacity,
     SwitchVersion,
+    UsageSlice,
     VersionDrained,
-    Window,
-    expand_windows,
 )
 from badgeryoke.cluster.reservations.lease_client import ReservationClient, ReservedUnits
 from badgeryoke.cluster.reservations.priority_shedding import CapacityClaim as ShareClaim
 from badgeryoke.cluster.reservations.priority_shedding import CapacityShares
+from badgeryoke.cluster.reservations.terms import ContractTerms, Interval, Window, expand_windows
 from badgeryoke.cluster.rolling_restart.restart import (
     REPORTS,
     CancelRollingRestart,
@@ -805,7 +804,10 @@
                 version=draw.randint(0, 12),
                 rate=self.figure(60.0),
                 burst=self.figure(30.0),
-                intervals=((begin, begin + 20_000.0), (begin + 30_000.0, begin + 60_000.0)),
+                intervals=(
+                    Interval(begin, begin + 20_000.0),
+                    Interval(begin + 30_000.0, begin + 60_000.0),
+                ),
                 effective_from_ms=self.at + draw.choice((0.0, 4000.0)),
             )
         if kind < 8:
@@ -818,7 +820,7 @@
                 contract=self.contract(),
                 reporter=draw.choice(GATEWAYS),
                 slices=tuple(
-                    (first - draw.randint(0, 500), self.figure(4.0), draw.uniform(0.0, 2.0))
+                    UsageSlice(first - draw.randint(0, 500), self.figure(4.0), draw.uniform(0.0, 2.0))
                     for _ in range(draw.randint(1, 8))
                 ),
             )
--- a/tests/cluster/test_golden_cluster.py
+++ b/tests/cluster/test_golden_cluster.py
@@ -38,7 +38,8 @@
 from badgeryoke.cluster.node_setup import NodeSetup
 from badgeryoke.cluster.placement import directory
 from badgeryoke.cluster.placement.directory import group_of
-from badgeryoke.cluster.reservations import contract
+from badgeryoke.cluster.reservations.contract import ContractState
+from badgeryoke.cluster.reservations.terms import ContractTerms, Window
 from badgeryoke.cluster.rolling_restart import restart
 from badgeryoke.cluster.state_machine.machine import REGISTRY, GroupStateMachine, encode
 from badgeryoke.cluster.state_machine.part import FLEET, ApplyResult, Command, LeaderView
@@ -155,8 +156,8 @@
         messages.GossipUpdate,
         messages.Envelope,
         FoundingRecord,
-        contract.Window,
-        contract.ContractTerms,
+        Window,
+        ContractTerms,
         restart.ClusterConditions,
         unreported_usage.UsageLine,
         directory.ReplicaMove,
@@ -183,7 +184,7 @@
         "rules": Rule,
     }
     values: dict[str, type[Enum]] = {
-        "contract states": contract.ContractState,
+        "contract states": ContractState,
         "roll states told": restart.RestartState,
         "gateway stands told": restart.GatewayPhase,
     }
--- a/tests/cluster/test_regressions.py
+++ b/tests/cluster/test_regressions.py
@@ -110,16 +110,24 @@
 )
 from badgeryoke.cluster.raft.log import RaftLog, encode_config
 from badgeryoke.cluster.raft.node import MOST_BODY, MOST_HELD, MOST_SNAPSHOT, RaftNode, Role
-from badgeryoke.cluster.reservations import contract
-from badgeryoke.cluster.reservations.contract import (
-    ContractRegistry,
-    ContractTerms,
-    GuaranteedRates,
+from badgeryoke.cluster.reservations import admission
+from badgeryoke.cluster.reservations.admission import ContractRegistry
+from badgeryoke.cluster.reservations.commands import (
+    AdvanceContracts,
+    ChangeContract,
+    OpenContract,
+    ProposeContract,
+    ReportShortfall,
     RequestLease,
     SetCapacity,
-    Window,
+    SwitchVersion,
+    VersionDrained,
 )
+from badgeryoke.cluster.reservations.contract import GRANT_AHEAD_MS
+from badgeryoke.cluster.reservations.guaranteed_rates import GuaranteedRates
 from badgeryoke.cluster.reservations.lease_client import ReservationClient
+from badgeryoke.cluster.reservations.settlement import MAX_WAIT_MS
+from badgeryoke.cluster.reservations.terms import ContractTerms, Interval, Window
 from badgeryoke.cluster.rolling_restart.restart import (
     FRESH_MS,
     GRANT_MS,
@@ -587,14 +595,14 @@
 
 def test_a_lease_is_timed_from_where_its_entry_was_seen() -> None:
     made = state()
-    opened = contract.OpenContract(
+    opened = OpenContract(
         id="o",
         tenant="t",
         contract="c",
         version=1,
         rate=9.0,
         burst=0.0,
-        intervals=((0.0, 1e9),),
+        intervals=(Interval(0.0, 1e9),),
         effective_from_ms=0.0,
     )
     asked = RequestLease(
@@ -1308,7 +1316,7 @@
 # -------------------------------------------------------------------------------------------------------------
 
 TERMS: dict[str, Any] = {"tenant": "t", "customers": [1], "rate": 50.0, "burst": 10.0}
-SPAN = (20_000.0, 60_000.0)
+SPAN = Interval(20_000.0, 60_000.0)
 
 
 def admitted(units: float = 100.0) -> ContractRegistry:
@@ -1317,7 +1325,7 @@
     asked = msgspec.convert({**TERMS, "rate": 60.0, "windows": [Window(*SPAN)]}, ContractTerms)
     for command in (
         SetCapacity(id="1", capacity=units, reserve_fraction=0.0, unreserved_rate=0.0),
-        contract.ProposeContract(id="2", contract="c", terms=asked),
+        ProposeContract(id="2", contract="c", terms=asked),
     ):
         assert made.apply(0.0, command).error is None
     return made
@@ -1328,23 +1336,21 @@
     held = made.contracts["c"]
     changed = msgspec.structs.replace(held.newest.terms, rate=30.0)
     assert (
-        made.apply(
-            1.0, contract.ChangeContract(id="3", contract="c", terms=changed, effective_from_ms=30_000.0)
-        ).error
+        made.apply(1.0, ChangeContract(id="3", contract="c", terms=changed, effective_from_ms=30_000.0)).error
         is None
     )
-    made.apply(2.0, contract.VersionDrained(id="4", contract="c", version=1))
+    made.apply(2.0, VersionDrained(id="4", contract="c", version=1))
     assert (held.confirmed_version, [one.number for one in held.versions]) == (1, [1, 2])
     assert made.peak_reserved_rate(0.0, 1e6) == 60.0  # the dearer of the two counts
-    made.apply(3.0, contract.VersionDrained(id="5", contract="c", version=2))
+    made.apply(3.0, VersionDrained(id="5", contract="c", version=2))
     assert (held.confirmed_version, [one.number for one in held.versions]) == (2, [2])
 
 
 def test_a_contract_is_armed_when_its_group_holds_it() -> None:
     made = admitted()
-    made.apply(15_000.0, contract.AdvanceContracts(id="p"))
+    made.apply(15_000.0, AdvanceContracts(id="p"))
     assert made.contracts["c"].state.value == "admitted"
-    made.apply(15_001.0, contract.VersionDrained(id="3", contract="c", version=1))
+    made.apply(15_001.0, VersionDrained(id="3", contract="c", version=1))
     assert made.contracts["c"].state.value == "armed"
 
 
@@ -1357,7 +1363,7 @@
     other = ContractRegistry(Timings(), Invariants())
     other.load(msgspec.msgpack.decode(msgspec.msgpack.encode(made.dump())))
     assert (
-        other.apply(2.0, contract.VersionDrained(id="4", contract="c", version=1)).error is None
+        other.apply(2.0, VersionDrained(id="4", contract="c", version=1)).error is None
     )  # and no rule is broken
     assert other.available() == made.available() == 25.0
 
@@ -1368,7 +1374,7 @@
     for number, rate, holds_from in versions:
         made.apply(
             at_ms,
-            contract.OpenContract(
+            OpenContract(
                 id=f"o{number}",
                 tenant="t",
                 contract="c",
@@ -1417,7 +1423,7 @@
     assert (made.contracts["c"].version, made.contracts["c"].rate) == (2, 60.0)
     made.apply(
         1.0,
-        contract.OpenContract(
+        OpenContract(
             id="x",
             tenant="t",
             contract="d",
@@ -1433,7 +1439,7 @@
 
 def test_parts_are_granted_within_a_window_and_end_behind_the_margin() -> None:
     made = opened_floors((1, 60.0, 0.0))
-    assert lease(made, SPAN[0] - contract.GRANT_AHEAD_MS - 1.0, 1, 0, 60.0)["part"] == 0.0
+    assert lease(made, SPAN[0] - GRANT_AHEAD_MS - 1.0, 1, 0, 60.0)["part"] == 0.0
     made = opened_floors((1, 60.0, 0.0))
     granted = lease(made, SPAN[0] - 1.0, 1, 0, 60.0)
     assert granted["part"] == 60.0 and granted["from_ms"] == SPAN[0]
@@ -1453,7 +1459,7 @@
     granted = lease(made, 20_000.0, 1, 0, 60.0)
     made.apply(
         20_001.0,
-        contract.OpenContract(
+        OpenContract(
             id="o2",
             tenant="t",
             contract="c",
@@ -1466,7 +1472,7 @@
     )
     renewed = lease(made, 20_002.0, 2, granted["number"], 60.0, 60.0)
     assert (renewed["until_ms"], renewed["then"]) == (25_000.0, min(rate / 60.0, 1.0))  # it shrinks by itself
-    made.apply(25_000.0, contract.SwitchVersion(id="turn", tenant="t", contract="c"))
+    made.apply(25_000.0, SwitchVersion(id="turn", tenant="t", contract="c"))
     other = GuaranteedRates(Timings(), Invariants())
     other.load(msgspec.msgpack.decode(msgspec.msgpack.encode(made.dump())))
     for one in (made, other):
@@ -1490,22 +1496,18 @@
 def test_two_changes_never_overlap_and_a_tenants_contracts_are_bounded(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(contract, "MAX_CONTRACTS_PER_TENANT", 1)
+    monkeypatch.setattr(admission, "MAX_CONTRACTS_PER_TENANT", 1)
     made = admitted()
     terms = made.contracts["c"].newest.terms
     first, second = (msgspec.structs.replace(terms, rate=rate) for rate in (30.0, 20.0))
     assert (
-        made.apply(
-            1.0, contract.ChangeContract(id="3", contract="c", terms=first, effective_from_ms=30_000.0)
-        ).error
+        made.apply(1.0, ChangeContract(id="3", contract="c", terms=first, effective_from_ms=30_000.0)).error
         is None
     )
-    again = made.apply(
-        2.0, contract.ChangeContract(id="4", contract="c", terms=second, effective_from_ms=30_000.0)
-    )
+    again = made.apply(2.0, ChangeContract(id="4", contract="c", terms=second, effective_from_ms=30_000.0))
     assert isinstance(again.error, WrongState)
     more = made.apply(
-        3.0, contract.ProposeContract(id="5", contract="d", terms=msgspec.structs.replace(terms, rate=1.0))
+        3.0, ProposeContract(id="5", contract="d", terms=msgspec.structs.replace(terms, rate=1.0))
     )
     assert isinstance(more.error, Overloaded)
 
@@ -1524,8 +1526,8 @@
         )
         for command in (
             SetCapacity(id="1", capacity=100.0, reserve_fraction=0.0, unreserved_rate=0.0),
-            contract.ProposeContract(id="2", contract="c", terms=asked),
-            contract.VersionDrained(id="3", contract="c", version=1),
+            ProposeContract(id="2", contract="c", terms=asked),
+            VersionDrained(id="3", contract="c", version=1),
         ):
             assert self.contracts.apply(0.0, command).error is None
 
@@ -1618,7 +1620,7 @@
     stake = made.floor.leases["c"]
     stake.share = stake.level = 0.0
     assert made.floor.take(begin + 40.0, 1, 0.5) is None and made.floor.wait(begin + 40.0, 1, 0.5, "token")
-    assert made.floor.finished_waits(begin + 41.0 + contract.MAX_WAIT_MS) == [("token", None)]
+    assert made.floor.finished_waits(begin + 41.0 + MAX_WAIT_MS) == [("token", None)]
 
 
 def test_units_short_are_told_once() -> None:
@@ -1631,7 +1633,7 @@
         one
         for at in range(400)
         for one in made.turn(begin + 300.0 + 10.0 * at)
-        if isinstance(one, contract.ReportShortfall)
+        if isinstance(one, ReportShortfall)
     ]
     assert [(one.cause, one.units) for one in told] == [("load", 0.5)]
 
@@ -1672,7 +1674,7 @@
     terms = msgspec.convert({**TERMS, "windows": [Window(begin, begin + 1000.0)]}, ContractTerms)
     got: list[Any] = []
     world.network.delays[leader.name, asker.name] = 700.0
-    world.call(asker.name, contract.ProposeContract(id="1", contract="c", terms=terms), got.append)
+    world.call(asker.name, ProposeContract(id="1", contract="c", terms=terms), got.append)
     world.calendar.run(world.calendar.now + 200.0)
     world.call(
         leader.name,
@@ -1855,14 +1857,14 @@
     floors = GuaranteedRates(Timings(), Invariants())
     floors.apply(
         1000.0,
-        contract.OpenContract(
+        OpenContract(
             id="o",
             tenant="t",
             contract="c",
             version=1,
             rate=100.0,
             burst=10.0,
-            intervals=((0.0, 1e6),),
+            intervals=(Interval(0.0, 1e6),),
             effective_from_ms=0.0,
         ),
     )
--- a/tests/support/cluster_history.py
+++ b/tests/support/cluster_history.py
@@ -15,7 +15,22 @@
 from badgeryoke.cluster.node_setup import FOUNDING as FOUNDING_GROUP
 from badgeryoke.cluster.placement import directory
 from badgeryoke.cluster.raft.log import encode_config
-from badgeryoke.cluster.reservations import contract
+from badgeryoke.cluster.reservations.commands import (
+    AdvanceContracts,
+    CancelContract,
+    ChangeContract,
+    OpenContract,
+    ProposeContract,
+    ReleaseLease,
+    ReportShortfall,
+    ReportUsage,
+    RequestLease,
+    SetCapacity,
+    SwitchVersion,
+    UsageSlice,
+    VersionDrained,
+)
+from badgeryoke.cluster.reservations.terms import Interval, Window
 from badgeryoke.cluster.rolling_restart import restart
 from badgeryoke.cluster.state_machine.machine import GroupStateMachine, encode
 from badgeryoke.cluster.state_machine.part import FLEET, ApplyResult, Command
@@ -36,7 +51,7 @@
     zone="",
     rank=3,
     surplus=True,
-    windows=(contract.Window(from_ms=START_MS + 90_000, to_ms=START_MS + 900_000),),
+    windows=(Window(from_ms=START_MS + 90_000, to_ms=START_MS + 900_000),),
 )
 ROLL = restart.StartRollingRestart(
     id="r1", roll="nightly", gateways=("b", "a"), reason="new version", at_once=1, warm_ms=500.0
@@ -46,7 +61,7 @@
     (0.0, directory.EnrolMember(id="e1", name="d", who="d/4", hall="west")),
     (
         1.0,
-        contract.SetCapacity(
+        SetCapacity(
             id="c1",
             capacity=1000.0,
             reserve_fraction=0.1,
@@ -54,21 +69,21 @@
             zones={"east": 600.0, "west": 400.0},
         ),
     ),
-    (2.0, contract.ProposeContract(id="c2", contract=CONTRACT, terms=TERMS)),
-    (3.0, contract.ProposeContract(id="c3", contract="nightly", terms=NIGHTLY)),
-    (4.0, contract.VersionDrained(id="c4", contract=CONTRACT, version=1)),
-    (5.0, contract.VersionDrained(id="c5", contract="nightly", version=2)),
-    (6.0, contract.ProposeContract(id="c6", contract="huge", terms=msgspec.structs.replace(TERMS, rate=1e6))),
+    (2.0, ProposeContract(id="c2", contract=CONTRACT, terms=TERMS)),
+    (3.0, ProposeContract(id="c3", contract="nightly", terms=NIGHTLY)),
+    (4.0, VersionDrained(id="c4", contract=CONTRACT, version=1)),
+    (5.0, VersionDrained(id="c5", contract="nightly", version=2)),
+    (6.0, ProposeContract(id="c6", contract="huge", terms=msgspec.structs.replace(TERMS, rate=1e6))),
     (7.0, directory.EnrolMember(id="e2", name="b", who="b/5", hall="west")),
     (8.0, directory.ReplaceReplica(id="e3", group="g1", lost="b/2", new="d/4", most=2)),
     (
         9.0,
         directory.ReplicaMoved(id="e4", group="g0", voters=("a/1", "b/2", "c/3"), number=17, behind=("c/3",)),
     ),
-    (60_500.0, contract.AdvanceContracts(id="c7")),
+    (60_500.0, AdvanceContracts(id="c7")),
     (
         61_500.0,
-        contract.ReportShortfall(
+        ReportShortfall(
             id="c8",
             contract=CONTRACT,
             reporter="a/1",
@@ -79,7 +94,7 @@
     ),
     (
         62_000.0,
-        contract.ChangeContract(
+        ChangeContract(
             id="c9",
             contract=CONTRACT,
             terms=msgspec.structs.replace(TERMS, rate=120.0),
@@ -109,16 +124,16 @@
         62_250.0,
         restart.ReportGateway(id="r7", roll="nightly", gateway="b", round=2, what="paused", process="b/5"),
     ),
-    (62_300.0, contract.CancelContract(id="c10", contract="nightly")),
-    (62_301.0, contract.CancelContract(id="c10", contract="nightly")),  # repeated: the same answer
-    (62_302.0, contract.CancelContract(id="c10", contract=CONTRACT)),  # another call with a taken id
+    (62_300.0, CancelContract(id="c10", contract="nightly")),
+    (62_301.0, CancelContract(id="c10", contract="nightly")),  # repeated: the same answer
+    (62_302.0, CancelContract(id="c10", contract=CONTRACT)),  # another call with a taken id
     (62_303.0, key_value.PutValue(id="p1", name="payday", value="armed")),  # not for this group
     (62_304.0, directory.CancelMove(id="e5", group="g0", new="d/4", why="lost")),  # no such move
 )
 
 
 def _lease(number: int, holder: str, order: int, held: int, keep: float, wish: float, soft: bool) -> Command:
-    return contract.RequestLease(
+    return RequestLease(
         id=f"f{number}",
         tenant=TENANT,
         contract=CONTRACT,
@@ -150,14 +165,14 @@
     (1.0, key_value.PutValue(id="p2", name="payday", value="off")),
     (
         2.0,
-        contract.OpenContract(
+        OpenContract(
             id="f1",
             tenant=TENANT,
             contract=CONTRACT,
             version=1,
             rate=100.0,
             burst=20.0,
-            intervals=((START_MS + 60_000, START_MS + 660_000),),
+            intervals=(Interval(START_MS + 60_000, START_MS + 660_000),),
             effective_from_ms=START_MS,
         ),
     ),
@@ -174,32 +189,32 @@
     (60_300.0, _lease(3, "b/2", 1, 0, 0.0, 20.0, True)),
     (
         60_400.0,
-        contract.ReportUsage(
+        ReportUsage(
             id="f4",
             tenant=TENANT,
             contract=CONTRACT,
             reporter="a/1",
-            slices=((340_000_012_060, 3.0, 2.0), (340_000_012_061, 1.0, 0.5)),
+            slices=(UsageSlice(340_000_012_060, 3.0, 2.0), UsageSlice(340_000_012_061, 1.0, 0.5)),
         ),
     ),
     (60_500.0, _lease(5, "a/1", 2, 1, 20.0, 40.0, False)),
     (
         60_501.0,
-        contract.OpenContract(
+        OpenContract(
             id="f6",
             tenant=TENANT,
             contract=CONTRACT,
             version=3,
             rate=120.0,
             burst=20.0,
-            intervals=((START_MS + 60_000, START_MS + 660_000),),
+            intervals=(Interval(START_MS + 60_000, START_MS + 660_000),),
             effective_from_ms=START_MS + 120_000,
         ),
     ),
     (60_502.0, _lease(7, "a/1", 1, 1, 20.0, 40.0, False)),  # comes behind a later one
     (
         60_503.0,
-        contract.ReleaseLease(id="f8", tenant=TENANT, contract=CONTRACT, holder="b/2", lease_number=2),
+        ReleaseLease(id="f8", tenant=TENANT, contract=CONTRACT, holder="b/2", lease_number=2),
     ),
     (60_504.0, unreported_usage.RecordUsage(id="o4", tenant=TENANT, by="c/3", lines=OWED)),
     (60_505.0, unreported_usage.ClaimUsage(id="o5", tenant=TENANT, batch="o4", by="a/1")),
@@ -218,7 +233,7 @@
     (60_510.0, connection_limits.SetConnectionLimit(id="s5", server="gone:1", most=3, idle_ms=1000.0)),
     (60_511.0, connection_limits.RemoveConnectionLimit(id="s6", server="gone:1")),
     (60_512.0, connection_limits.RemoveConnectionLimit(id="s7", server="never:1")),
-    (63_500.0, contract.SwitchVersion(id="f9", tenant=TENANT, contract=CONTRACT)),
+    (63_500.0, SwitchVersion(id="f9", tenant=TENANT, contract=CONTRACT)),
 )
 HISTORIES = {FLEET: FLEET_HISTORY, OTHER: OTHER_HISTORY}
 
--- a/tests/support/cluster_samples.py
+++ b/tests/support/cluster_samples.py
@@ -13,7 +13,24 @@
 from badgeryoke.cluster.bootstrap import BootstrapRecord
 from badgeryoke.cluster.placement import directory
 from badgeryoke.cluster.raft.log import encode_config
-from badgeryoke.cluster.reservations import contract
+from badgeryoke.cluster.reservations.commands import (
+    AdvanceContracts,
+    CancelContract,
+    ChangeContract,
+    OpenContract,
+    PollContracts,
+    ProposeContract,
+    ReadContracts,
+    ReleaseLease,
+    ReportShortfall,
+    ReportUsage,
+    RequestLease,
+    SetCapacity,
+    SwitchVersion,
+    UsageSlice,
+    VersionDrained,
+)
+from badgeryoke.cluster.reservations.terms import ContractTerms, Interval, Window
 from badgeryoke.cluster.rolling_restart import restart
 from badgeryoke.cluster.state_machine.machine import decode, encode
 from badgeryoke.cluster.state_machine.part import ApplyResult, Command
@@ -93,7 +110,7 @@
     ("bootstrap-record", messages.ClusterFounded(founding=msgspec.msgpack.encode(FOUNDING))),
 )
 
-TERMS = contract.ContractTerms(
+TERMS = ContractTerms(
     tenant="north",
     customers=(1, 2, 3),
     rate=100.0,
@@ -102,7 +119,7 @@
     surplus=False,
     rank=2,
     windows=(
-        contract.Window(
+        Window(
             from_ms=START_MS + 60_000,
             to_ms=START_MS + 660_000,
             every_ms=3_600_000.0,
@@ -129,7 +146,7 @@
     ("places", directory.ReadPlacement(id="e5")),
     (
         "capacity",
-        contract.SetCapacity(
+        SetCapacity(
             id="c1",
             capacity=1000.0,
             reserve_fraction=0.1,
@@ -137,21 +154,21 @@
             zones={"east": 600.0, "west": 400.0},
         ),
     ),
-    ("propose", contract.ProposeContract(id="c2", contract="payday", terms=TERMS)),
+    ("propose", ProposeContract(id="c2", contract="payday", terms=TERMS)),
     (
         "change",
-        contract.ChangeContract(
+        ChangeContract(
             id="c3",
             contract="payday",
             terms=msgspec.structs.replace(TERMS, rate=120.0),
             effective_from_ms=START_MS + 120_000,
         ),
     ),
-    ("cancel", contract.CancelContract(id="c4", contract="nightly")),
-    ("told", contract.VersionDrained(id="c5", contract="payday", version=1)),
+    ("cancel", CancelContract(id="c4", contract="nightly")),
+    ("told", VersionDrained(id="c5", contract="payday", version=1)),
     (
         "short",
-        contract.ReportShortfall(
+        ReportShortfall(
             id="c6",
             contract="payday",
             reporter="a/1",
@@ -160,25 +177,25 @@
             since_ms=START_MS + 61_000,
         ),
     ),
-    ("pass", contract.AdvanceContracts(id="c7")),
-    ("contracts-read", contract.ReadContracts(id="c8")),
-    ("contracts-known", contract.PollContracts(id="c9", known_revision=3)),
+    ("pass", AdvanceContracts(id="c7")),
+    ("contracts-read", ReadContracts(id="c8")),
+    ("contracts-known", PollContracts(id="c9", known_revision=3)),
     (
         "open",
-        contract.OpenContract(
+        OpenContract(
             id="f1",
             tenant="north",
             contract="payday",
             version=1,
             rate=100.0,
             burst=20.0,
-            intervals=((START_MS + 60_000, START_MS + 660_000),),
+            intervals=(Interval(START_MS + 60_000, START_MS + 660_000),),
             effective_from_ms=START_MS,
         ),
     ),
     (
         "lease",
-        contract.RequestLease(
+        RequestLease(
             id="f2",
             tenant="north",
             contract="payday",
@@ -196,20 +213,20 @@
             sequence=6,
         ),
     ),
-    ("turn-floor", contract.SwitchVersion(id="f3", tenant="north", contract="payday")),
+    ("turn-floor", SwitchVersion(id="f3", tenant="north", contract="payday")),
     (
         "used",
-        contract.ReportUsage(
+        ReportUsage(
             id="f4",
             tenant="north",
             contract="payday",
             reporter="a/1",
-            slices=((340_000_012_000, 3.0, 2.0), (340_000_012_001, 1.0, 0.5)),
+            slices=(UsageSlice(340_000_012_000, 3.0, 2.0), UsageSlice(340_000_012_001, 1.0, 0.5)),
         ),
     ),
     (
         "end-lease",
-        contract.ReleaseLease(id="f5", tenant="north", contract="payday", holder="a/1", lease_number=4),
+        ReleaseLease(id="f5", tenant="north", contract="payday", holder="a/1", lease_number=4),
     ),
     ("limit", connection_limits.SetConnectionLimit(id="s1", server=SERVER, most=24, idle_ms=30_000.0)),
     ("unlimit", connection_limits.RemoveConnectionLimit(id="s2", server=SERVER)),
