--- a/badgeryoke/cluster/connection_limits.py
+++ b/badgeryoke/cluster/connection_limits.py
@@ -34,7 +34,8 @@
 
 from badgeryoke.cluster.errors import ClusterError, DuplicateId, InvalidCall, NotFound, WrongState
 from badgeryoke.cluster.invariants import Invariants, Rule
-from badgeryoke.cluster.leases.lease_pool import EPSILON, LeaseGrant, LeasePool
+from badgeryoke.cluster.leases.lease import EPSILON, LeaseGrant, LeaseRequest
+from badgeryoke.cluster.leases.lease_pool import LeasePool
 from badgeryoke.cluster.messages import MemberId, member_name
 from badgeryoke.cluster.state_machine.part import ApplyResult, Command, LeaderView
 from badgeryoke.cluster.timings import Timings
@@ -254,7 +255,7 @@
         parts = found.parts
         before, limit = parts.granted(), parts.target
         parts.last_number = self._last
-        given = parts.request(who, ask.number, ask.keep, ask.wish, 0.0, self._rules)
+        given = parts.request(LeaseRequest(who, ask.number, ask.keep, ask.wish, 0.0), self._rules)
         if not isinstance(given, LeaseGrant):  # it names a lease that is over, or keeps more than it has
             return [ask.server, OVER, 0, 0, 0]
         held = parts.leases.get(who)
--- a/badgeryoke/cluster/reservations/admission.py
+++ b/badgeryoke/cluster/reservations/admission.py
@@ -31,7 +31,7 @@
     WrongState,
 )
 from badgeryoke.cluster.invariants import Invariants, Rule
-from badgeryoke.cluster.leases.lease_pool import EPSILON
+from badgeryoke.cluster.leases.lease import EPSILON
 from badgeryoke.cluster.reservations.capacity_profile import (
     CapacityLimit,
     CapacityProfile,
--- a/badgeryoke/cluster/reservations/capacity_profile.py
+++ b/badgeryoke/cluster/reservations/capacity_profile.py
@@ -12,7 +12,7 @@
 from itertools import pairwise
 from typing import NamedTuple
 
-from badgeryoke.cluster.leases.lease_pool import EPSILON
+from badgeryoke.cluster.leases.lease import EPSILON
 
 MAX_START_TIMES_TRIED = 200  # in the search for the earliest moment at which a proposal would fit
 
--- a/badgeryoke/cluster/reservations/guaranteed_rates.py
+++ b/badgeryoke/cluster/reservations/guaranteed_rates.py
@@ -14,7 +14,8 @@
 
 from badgeryoke.cluster.errors import InvalidCall, LeaseExpired, NotFound, Overloaded
 from badgeryoke.cluster.invariants import Invariants, Rule
-from badgeryoke.cluster.leases.lease_pool import EPSILON, MAX_HOLDERS, LeaseGrant, LeasePool
+from badgeryoke.cluster.leases.lease import EPSILON, LeaseGrant, LeaseRequest
+from badgeryoke.cluster.leases.lease_pool import MAX_HOLDERS, LeasePool
 from badgeryoke.cluster.messages import MemberId
 from badgeryoke.cluster.reservations.commands import (
     LeaseAnswer,
@@ -263,19 +264,19 @@
         """Outside of a window nothing is granted; what a holder keeps counts until it gives it back."""
         pool = contract.pool
         pool.last_number = self.last_lease_number
-        return pool.request(
+        request = LeaseRequest(
             command.holder,
             command.lease_number,
-            command.kept_rate,
-            min(command.wanted_rate, pool.target) if within_window else 0.0,
-            command.returned_units,
-            self._rules,
-            command.kept_depth,
-            command.wanted_units,
-            command.takes_spare and within_window,
-            command.min_depth,
-            command.draws_per_request,
+            kept=command.kept_rate,
+            wanted=min(command.wanted_rate, pool.target) if within_window else 0.0,
+            returned_units=command.returned_units,
+            kept_depth=command.kept_depth,
+            wanted_units=command.wanted_units,
+            takes_spare=command.takes_spare and within_window,
+            min_depth=command.min_depth,
+            draws_per_request=command.draws_per_request,
         )
+        return pool.request(request, self._rules)
 
     def _check_number(self, contract: str, number: int) -> None:
         self._rules.check(
--- a/badgeryoke/cluster/reservations/priority_shedding.py
+++ b/badgeryoke/cluster/reservations/priority_shedding.py
@@ -1,9 +1,11 @@
-"""Who may send when capacity falls short: unreserved use goes first, then contracts by class, evenly within a
-class.
+"""Load shedding by priority: who may send when capacity falls short.
 
-`split` divides a capacity; `Share` keeps to it over time at one gateway.  Evenly means: each contract of the
-class that no longer fits gets the same part of what it needs, so a small one is not eaten up by a large one,
-nor the reverse.
+Requests without a contract are shed first, then contracts by their class of importance (`rank`), evenly
+within a class: each contract of the class that no longer fits gets the same fraction of what it needs, so
+that neither a small one nor a large one is starved by the other.
+
+`split_capacity` divides a capacity; `CapacityShares` keeps to that over time at one gateway, by a token
+bucket for each contract.  Rates are units a second, times monotonic ms.
 """
 
 from __future__ import annotations
@@ -11,12 +13,14 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-DEPTH_MS = 250.0  # of what `Share` lets go on at once, at the rate that is left
+MAX_BURST_MS = 250.0  # of a contract's rate: what may be sent at once
+MIN_BURST = 1.0  # units
+UNRESERVED = ""  # in place of a contract: all requests without one
 
 
 @dataclass(frozen=True, slots=True)
 class CapacityClaim:
-    """One contract: what is asked for within it now, and what it holds here, units a second."""
+    """One contract: what is requested within it now, and what is leased here."""
 
     contract: str
     rank: int
@@ -25,13 +29,13 @@
 
     @property
     def need(self) -> float:
-        """What has to be carried."""
+        """The rate that has to be carried."""
         return min(self.demand, self.share)
 
 
 @dataclass(frozen=True, slots=True)
 class CapacitySplit:
-    """Units a second: for each contract, what each is short, and what is left for all others."""
+    """The rates that each contract gets and lacks, and what is left for requests without a contract."""
 
     granted: dict[str, float]
     shortfalls: dict[str, float]
@@ -39,63 +43,62 @@
 
 
 def split_capacity(capacity: float, claims: Iterable[CapacityClaim]) -> CapacitySplit:
-    """Divide a capacity.  Needs of the same class shrink by the same factor."""
+    """Divide a capacity.  The needs of one class are cut by the same fraction."""
     left = max(capacity, 0.0)
-    made: dict[str, float] = {}
-    short: dict[str, float] = {}
-    classes: dict[int, list[CapacityClaim]] = {}
-    for one in claims:
-        classes.setdefault(one.rank, []).append(one)
-    for rank in sorted(classes):
-        need = sum(one.need for one in classes[rank])
-        part = min(left / need, 1.0) if need > 0.0 else 1.0
-        for one in classes[rank]:
-            made[one.contract] = one.need * part
-            short[one.contract] = one.need * (1.0 - part)
-        left -= need * part
-    return CapacitySplit(made, short, max(left, 0.0))
+    granted: dict[str, float] = {}
+    shortfalls: dict[str, float] = {}
+    claims_by_rank: dict[int, list[CapacityClaim]] = {}
+    for claim in claims:
+        claims_by_rank.setdefault(claim.rank, []).append(claim)
+    for _, of_class in sorted(claims_by_rank.items()):
+        need = sum(claim.need for claim in of_class)
+        fraction = min(left / need, 1.0) if need > 0.0 else 1.0
+        for claim in of_class:
+            granted[claim.contract] = claim.need * fraction
+            shortfalls[claim.contract] = claim.need * (1.0 - fraction)
+        left -= need * fraction
+    return CapacitySplit(granted, shortfalls, max(left, 0.0))
 
 
 @dataclass(slots=True)
-class _Flow:
+class _TokenBucket:
     rate: float = 0.0
-    level: float = 0.0
-    at: float = 0.0
+    level: float = 0.0  # units
+    filled_ms: float = 0.0  # up to when it was filled
 
     def fill(self, now: float) -> None:
-        self.level = min(
-            self.level + self.rate * (now - self.at) / 1000.0, max(self.rate * DEPTH_MS / 1000.0, 1.0)
-        )
-        self.at = now
+        gained = self.rate * (now - self.filled_ms) / 1000.0
+        self.level = min(self.level + gained, max(self.rate * MAX_BURST_MS / 1000.0, MIN_BURST))
+        self.filled_ms = now
 
 
 @dataclass(slots=True)
 class CapacityShares:
-    """One gateway's flows.  `set` them as capacity and demand change; `may` asks for one request."""
+    """One gateway's token buckets.  `update` them as capacity and demand change; `admit` each request."""
 
-    flows: dict[str, _Flow] = field(default_factory=dict)  # "" are all others
+    buckets: dict[str, _TokenBucket] = field(default_factory=dict)  # by contract, or UNRESERVED
     last_split: CapacitySplit = field(default_factory=lambda: CapacitySplit({}, {}, 0.0))
 
     def update(self, now: float, capacity: float, claims: Iterable[CapacityClaim]) -> CapacitySplit:
-        """Divide anew; what is not named any more is forgotten."""
+        """Divide anew; contracts that are not claimed any more are forgotten."""
         self.last_split = split_capacity(capacity, claims)
-        rates = {"": self.last_split.unreserved, **self.last_split.granted}
-        for name in [name for name in self.flows if name not in rates]:
-            del self.flows[name]
+        rates = {UNRESERVED: self.last_split.unreserved, **self.last_split.granted}
+        for name in [name for name in self.buckets if name not in rates]:
+            del self.buckets[name]
         for name, rate in rates.items():
-            flow = self.flows.setdefault(name, _Flow(at=now))
-            flow.fill(now)
-            flow.rate = rate
+            bucket = self.buckets.setdefault(name, _TokenBucket(filled_ms=now))
+            bucket.fill(now)
+            bucket.rate = rate
         return self.last_split
 
     def admit(self, now: float, contract: str, units: float) -> bool:
-        """Whether a request under a contract, or under none (""), may be sent now.  A flow may go below
-        nothing by one request, so that one larger than its depth still goes when it is its turn."""
-        flow = self.flows.get(contract)
-        if flow is None:
+        """Whether a request under a contract, or UNRESERVED, may be sent now.  A bucket may go below zero by
+        one request, so that one larger than its depth is still sent when it is its turn."""
+        bucket = self.buckets.get(contract)
+        if bucket is None:
             return False
-        flow.fill(now)
-        if flow.level <= 0.0 or flow.rate <= 0.0:
+        bucket.fill(now)
+        if bucket.level <= 0.0 or bucket.rate <= 0.0:
             return False
-        flow.level -= units
+        bucket.level -= units
         return True
--- a/badgeryoke/cluster/reservations/settlement.py
+++ b/badgeryoke/cluster/reservations/settlement.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field
 from typing import Any, NamedTuple
 
-from badgeryoke.cluster.leases.lease_pool import EPSILON
+from badgeryoke.cluster.leases.lease import EPSILON
 from badgeryoke.cluster.reservations.commands import UsageSlice
 
 SLICE_MS = 5.0  # in which a gateway counts what was requested and drawn together
--- a/badgeryoke/testbed/dispatcher_cost.py
+++ b/badgeryoke/testbed/dispatcher_cost.py
@@ -17,7 +17,10 @@
 from collections.abc import Callable
 from typing import Any
 
-from badgeryoke.cluster.reservations.lease_client import ContractLease, ReservationClient
+from badgeryoke.cluster.reservations.commands import ContractFacts, VersionFacts
+from badgeryoke.cluster.reservations.contract_lease import ContractLease
+from badgeryoke.cluster.reservations.lease_client import ReservationClient
+from badgeryoke.cluster.reservations.terms import Interval
 from badgeryoke.cluster.timings import Timings
 from badgeryoke.decisions import interface as api
 from badgeryoke.gateway.actor import ActorScheduler
@@ -85,21 +88,14 @@
 
     @staticmethod
     def _stake(floor: ReservationClient, customer: int) -> None:
-        facts = {
-            "versions": [
-                {
-                    "holds_from_ms": 0.0,
-                    "rate": 1e6,
-                    "burst": 1e6,
-                    "times": [(0.0, math.inf)],
-                    "customers": [customer],
-                }
-            ],
-            "contract": "peak",
-            "tenant": "t",
-            "rank": 1,
-            "hall": "",
-        }
+        version = VersionFacts(
+            customers=(customer,),
+            rate=1e6,
+            burst=1e6,
+            intervals=(Interval(0.0, math.inf),),
+            effective_from_ms=0.0,
+        )
+        facts = ContractFacts(contract="peak", tenant="t", rank=1, zone="", versions=(version,))
         floor._update_contracts(0.0, 1, [facts])
         one: ContractLease = floor.leases["peak"]
         one.share = one.depth = one.level = one.fair_share = one.wanted_rate = 1e9
--- a/tests/cluster/test_behaviour_digests.py
+++ b/tests/cluster/test_behaviour_digests.py
@@ -45,6 +45,7 @@
 from badgeryoke.cluster.events import ProposeCommand as ProposeEntry
 from badgeryoke.cluster.invariants import Invariants
 from badgeryoke.cluster.key_value import PutValue, ReadValue
+from badgeryoke.cluster.leases.lease import LeaseRequest
 from badgeryoke.cluster.leases.lease_pool import LeasePool
 from badgeryoke.cluster.membership.protocol import Membership
 from badgeryoke.cluster.messages import (
@@ -1010,17 +1011,19 @@
             cap = held.depth if held is not None else 0.0
             digest.add(
                 divided.request(
-                    who,
-                    number,
-                    keep,
-                    draw.choice((0.0, 5.0, 30.0, 80.0)),
-                    cap * draw.choice((0.0, 0.0, 0.3)),
+                    LeaseRequest(
+                        who,
+                        number,
+                        keep,
+                        draw.choice((0.0, 5.0, 30.0, 80.0)),
+                        cap * draw.choice((0.0, 0.0, 0.3)),
+                        cap * draw.choice((0.0, 0.5, 0.7)),
+                        draw.choice((0.0, 0.0, 4.0)),
+                        draw.random() < 0.3,
+                        draw.choice((0.0, 1.0)),
+                        draw.random() < 0.3,
+                    ),
                     rules,
-                    cap * draw.choice((0.0, 0.5, 0.7)),
-                    draw.choice((0.0, 0.0, 4.0)),
-                    draw.random() < 0.3,
-                    draw.choice((0.0, 1.0)),
-                    draw.random() < 0.3,
                 )
             )
             digest.add([divided.excess(one) for one in divided.leases])
@@ -1063,7 +1066,7 @@
                 )
             )
         digest.add(share.admit(now, draw.choice(("", "c0", "c1", "c3", "c9")), draw.uniform(0.5, 4.0)))
-    digest.add(share.flows)
+    digest.add(share.buckets)
     check("shares", digest)
 
 
--- a/tests/cluster/test_regressions.py
+++ b/tests/cluster/test_regressions.py
@@ -71,6 +71,7 @@
     TransferLeadership,
 )
 from badgeryoke.cluster.invariants import Invariants, InvariantViolation, Rule
+from badgeryoke.cluster.leases.lease import LeaseRequest
 from badgeryoke.cluster.leases.lease_pool import MAX_ACCRUAL_GAP_MS, LeasePool
 from badgeryoke.cluster.membership.protocol import DEAD, SUSPECT, Membership
 from badgeryoke.cluster.messages import (
@@ -667,12 +668,12 @@
 
 def test_a_holder_keeps_no_more_than_it_had_and_only_its_present_lease_ends() -> None:
     whole, rules = LeasePool(10.0), Invariants()
-    assert whole.request("a", 0, 0.0, 6.0, 0.0, rules).share == 6.0  # type: ignore[union-attr]
-    assert isinstance(whole.request("a", 1, 7.0, 7.0, 0.0, rules), InvalidCall)
-    assert whole.request("a", 1, 6.0, 6.0, 0.0, rules).number == 2  # type: ignore[union-attr]
+    assert whole.request(LeaseRequest("a", 0, 0.0, 6.0, 0.0), rules).share == 6.0  # type: ignore[union-attr]
+    assert isinstance(whole.request(LeaseRequest("a", 1, 7.0, 7.0, 0.0), rules), InvalidCall)
+    assert whole.request(LeaseRequest("a", 1, 6.0, 6.0, 0.0), rules).number == 2  # type: ignore[union-attr]
     assert not whole.release("a", 1) and whole.granted() == 6.0
     whole.grow("a", 2.0)
-    assert whole.request("b", 0, 0.0, 9.0, 0.0, rules).share == 2.0  # type: ignore[union-attr]
+    assert whole.request(LeaseRequest("b", 0, 0.0, 9.0, 0.0), rules).share == 2.0  # type: ignore[union-attr]
     assert whole.release("a", 2) and whole.granted() == 2.0
 
 
@@ -1486,7 +1487,7 @@
 
 def test_what_a_lost_holder_had_is_gone() -> None:
     whole, rules = LeasePool(10.0, 8.0), Invariants()
-    granted = whole.request("a", 0, 0.0, 10.0, 0.0, rules, 0.0, 8.0)
+    granted = whole.request(LeaseRequest("a", 0, 0.0, 10.0, 0.0, 0.0, 8.0), rules)
     assert not isinstance(granted, InvalidCall | LeaseExpired) and granted.units > 0.0
     free = whole.free_units
     whole.release("a", granted.number)
