Split admission, guaranteed rates and the lease client once more

The stated capacity, one contract of a tenant's group, the answers and the table of a gateway's leases are modules of their own.

--- a/badgeryoke/cluster/reservations/admission.py
+++ b/badgeryoke/cluster/reservations/admission.py
@@ -30,20 +30,17 @@
     Overloaded,
     WrongState,
 )
-from badgeryoke.cluster.invariants import Invariants, Rule
+from badgeryoke.cluster.invariants import Invariants
 from badgeryoke.cluster.leases.lease import EPSILON
+from badgeryoke.cluster.reservations.answers import ContractsAnswer
 from badgeryoke.cluster.reservations.capacity_profile import (
-    CapacityLimit,
-    CapacityProfile,
     ReservedInterval,
-    earliest_fit_ms,
     rate_at,
 )
 from badgeryoke.cluster.reservations.commands import (
     AdvanceContracts,
     CancelContract,
     ChangeContract,
-    ContractsAnswer,
     OpenContract,
     PollContracts,
     ProposeContract,
@@ -64,6 +61,7 @@
     dump_contract,
     load_contract,
 )
+from badgeryoke.cluster.reservations.reserved_capacity import ReservedCapacity
 from badgeryoke.cluster.reservations.retry_schedule import RetrySchedule
 from badgeryoke.cluster.reservations.terms import ContractTerms, expand_windows
 from badgeryoke.cluster.state_machine.part import ApplyResult, Command, LeaderView
@@ -77,31 +75,22 @@
 CAPACITY_CHANGE_FRACTION = 0.02  # a measured capacity is stated anew when it differs by more
 DEFAULT_UNRESERVED_FRACTION = 0.1  # of the capacity, where no unreserved rate is stated
 MIN_ZONES = 2  # for the default reserve: one of that many zones may be lost
-ROUNDING_TOLERANCE = 1e-6  # units a second, of sums over contracts
-WHOLE_CLUSTER = ""  # in place of a zone
 
 
 class ContractRegistry:
     """Contracts by name, in the order of their admission; a `StateMachinePart`."""
 
     def __init__(self, timings: Timings, rules: Invariants) -> None:
-        self._timings, self._rules = timings, rules
         self.contracts: dict[str, Contract] = {}
-        self.capacity = 0.0  # units a second
-        self.reserve_fraction = 0.0
-        self.unreserved_rate = 0.0  # units a second
-        self.zones: dict[str, float] = {}  # capacity of each
+        self.reserved_capacity = ReservedCapacity(timings, rules)
         self.last_version = 0  # a version's number is given once, whatever contract has it
-        self.capacity_revision = 0  # times that a capacity was stated
         self.revision = 0  # changes of what gateways have to know
         self._open_retries = RetrySchedule()
-        # What was reserved already when less capacity was stated, by zone.
-        self._overcommitted: dict[str, float] = {}
 
     @property
     def lease_tail_ms(self) -> float:
         """How long behind a window's end a lease may still be in use."""
-        return self._timings.outlast()
+        return self.reserved_capacity.lease_tail_ms
 
     # Commands
     # ------------------------------------------------------------------------------------
@@ -133,7 +122,7 @@
                     error=InvalidCall("contracts", f"unknown command {command.command_name()}")
                 )
         if result.error is None:
-            self._check_reserved(at_ms)
+            self.reserved_capacity.verify(self.contracts.values(), at_ms)
         return result
 
     def _propose(self, at_ms: float, command: ProposeContract) -> ApplyResult:
@@ -253,44 +242,24 @@
         return ApplyResult()
 
     def _set_capacity(self, at_ms: float, command: SetCapacity) -> ApplyResult:
-        self.capacity = command.capacity
-        self.reserve_fraction = command.reserve_fraction
-        self.unreserved_rate = command.unreserved_rate
-        self.zones = dict(sorted(command.zones.items()))
-        self.capacity_revision += 1
-        # What was reserved stays reserved; until it fits again nothing new is admitted, and
-        # `badgeryoke.cluster.reservations.priority_shedding` decides what is shed first.
-        self._overcommitted = {
-            zone: self._profile(zone).peak(at_ms, math.inf) for zone in (WHOLE_CLUSTER, *self.zones)
-        }
-        available = self.available()
-        over = max(self._overcommitted[WHOLE_CLUSTER] - available, 0.0)
-        return ApplyResult({"available": available, "over": over})
+        over = self.reserved_capacity.restate(self.contracts.values(), at_ms, command)
+        return ApplyResult({"available": self.reserved_capacity.available(), "over": over})
 
-    # Admission
+    # Capacity
     # ------------------------------------------------------------------------------------
 
-    def available(self, zone: str = WHOLE_CLUSTER) -> float:
-        """What may be reserved, units a second: in all, or in a zone in proportion to its capacity."""
-        if not zone:
-            return max(self.capacity * (1.0 - self.reserve_fraction) - self.unreserved_rate, 0.0)
-        fraction = self.zones.get(zone, self.capacity) / self.capacity if self.capacity else 0.0
-        return self.available() * min(fraction, 1.0)
+    def available(self) -> float:
+        """What may be reserved, units a second."""
+        return self.reserved_capacity.available()
 
     def peak_reserved_rate(self, start_ms: float, end_ms: float) -> float:
         """The most that contracts take at any moment of a time (Unix ms), units a second."""
-        return self._profile().peak(start_ms, end_ms)
+        return self.reserved_capacity.profile(self.contracts.values()).peak(start_ms, end_ms)
 
-    def _profile(self, zone: str = WHOLE_CLUSTER, without: str = "") -> CapacityProfile:
-        """What contracts take over time, in all or in a zone, but for one contract."""
-        return CapacityProfile(
-            interval
-            for contract in self.contracts.values()
-            if contract.name != without
-            and contract.is_live
-            and (not zone or any(version.terms.zone == zone for version in contract.versions))
-            for interval in contract.reserved_intervals(self.lease_tail_ms)
-        )
+    def _check_fit(
+        self, at_ms: float, name: str, reserved: list[ReservedInterval], terms: ContractTerms
+    ) -> InsufficientCapacity | None:
+        return self.reserved_capacity.check_fit(self.contracts.values(), at_ms, name, reserved, terms)
 
     def _check_bounds(self, terms: ContractTerms, intervals: int) -> AnyError | None:
         """Why one contract more is too many."""
@@ -307,42 +276,6 @@
             return Overloaded(terms.tenant, f"windows: all contracts' come to more than {MAX_INTERVALS}")
         return None
 
-    def _check_fit(
-        self, at_ms: float, name: str, reserved: list[ReservedInterval], terms: ContractTerms
-    ) -> InsufficientCapacity | None:
-        """Why a contract does not fit beside all others, or None.  `reserved`: all that it would take."""
-        zones = (WHOLE_CLUSTER, terms.zone) if terms.zone else (WHOLE_CLUSTER,)
-        limits = [CapacityLimit(self._profile(zone, without=name), self.available(zone)) for zone in zones]
-        ahead = [
-            ReservedInterval(max(start_ms, at_ms), end_ms, rate)
-            for start_ms, end_ms, rate in reserved
-            if end_ms > at_ms
-        ]
-        exceeded = [limit for limit in limits if not limit.fits(ahead)]
-        if not exceeded:
-            return None
-        return InsufficientCapacity(
-            name,
-            f"rate: {terms.rate:g} units a second are asked for",
-            fits=min(limit.free_rate(ahead) for limit in exceeded),
-            fits_from_ms=earliest_fit_ms(limits, reserved),
-        )
-
-    def _check_reserved(self, at_ms: float) -> None:
-        """What is reserved fits from here on, but for what was reserved when less capacity was stated."""
-        for zone in (WHOLE_CLUSTER, *self.zones):
-            self._check_reserved_in(zone, at_ms)
-
-    def _check_reserved_in(self, zone: str, at_ms: float) -> None:
-        peak, available = self._profile(zone).peak(at_ms, math.inf), self.available(zone)
-        overcommitted = self._overcommitted.get(zone, 0.0)
-        self._rules.check(
-            Rule.CONTRACTS_FIT,
-            peak <= max(available, overcommitted) + ROUNDING_TOLERANCE,
-            lambda: f"{peak:g} units a second promised, {available:g} may be",
-        )
-        self._overcommitted[zone] = min(overcommitted, peak) if peak > available else 0.0
-
     def _forget_oldest_settled(self) -> None:
         settled = [name for name, one in self.contracts.items() if one.state is ContractState.SETTLED]
         for name in settled[: max(len(settled) - MAX_SETTLED_CONTRACTS, 0)]:
@@ -361,12 +294,12 @@
         return tasks + self._open_versions(view.now)
 
     def _restate_capacity(self, view: LeaderView) -> list[Command]:
-        capacity = view.load.get("capacity", 0.0)
-        if capacity <= 0.0 or abs(capacity - self.capacity) <= CAPACITY_CHANGE_FRACTION * self.capacity:
+        capacity, stated = view.load.get("capacity", 0.0), self.reserved_capacity.capacity
+        if capacity <= 0.0 or abs(capacity - stated) <= CAPACITY_CHANGE_FRACTION * stated:
             return []
         return [
             SetCapacity(
-                id=f"capacity/{self.capacity_revision}",
+                id=f"capacity/{self.reserved_capacity.revision}",
                 capacity=capacity,
                 reserve_fraction=view.load.get("reserve", 1.0 / max(len(view.halls), MIN_ZONES)),
                 unreserved_rate=view.load.get("floor", DEFAULT_UNRESERVED_FRACTION * capacity),
@@ -413,9 +346,9 @@
             case _:
                 return ApplyResult(
                     {
-                        "capacity": self.capacity,
-                        "reserve": self.reserve_fraction,
-                        "floor": self.unreserved_rate,
+                        "capacity": self.reserved_capacity.capacity,
+                        "reserve": self.reserved_capacity.reserve_fraction,
+                        "floor": self.reserved_capacity.unreserved_rate,
                         "contracts": {one.name: contract_status(one) for one in self.contracts.values()},
                     }
                 )
@@ -430,19 +363,21 @@
 
     def dump(self) -> Any:
         """See badgeryoke.cluster.state_machine.part."""
+        reserved = self.reserved_capacity
         return [
-            [self.capacity, self.reserve_fraction, self.unreserved_rate],
-            self.zones,
-            [self.last_version, self.capacity_revision, self.revision],
-            self._overcommitted,
+            [reserved.capacity, reserved.reserve_fraction, reserved.unreserved_rate],
+            reserved.zones,
+            [self.last_version, reserved.revision, self.revision],
+            reserved.overcommitted,
             [dump_contract(contract) for contract in self.contracts.values()],
         ]
 
     def load(self, raw: Any) -> None:
         """See badgeryoke.cluster.state_machine.part."""
-        figures, self.zones, counters, self._overcommitted, records = raw
-        self.capacity, self.reserve_fraction, self.unreserved_rate = figures
-        self.last_version, self.capacity_revision, self.revision = counters
+        reserved = self.reserved_capacity
+        figures, reserved.zones, counters, reserved.overcommitted, records = raw
+        reserved.capacity, reserved.reserve_fraction, reserved.unreserved_rate = figures
+        self.last_version, reserved.revision, self.revision = counters
         self._open_retries.clear()
         contracts = [load_contract(record) for record in records]
         self.contracts = {contract.name: contract for contract in contracts}
--- a/badgeryoke/cluster/reservations/contract_lease.py
+++ b/badgeryoke/cluster/reservations/contract_lease.py
@@ -16,7 +16,8 @@
 from typing import Any, NamedTuple
 
 from badgeryoke.cluster.leases.lease import EPSILON
-from badgeryoke.cluster.reservations.commands import ContractFacts, LeaseAnswer, RequestLease
+from badgeryoke.cluster.reservations.answers import ContractFacts, LeaseAnswer
+from badgeryoke.cluster.reservations.commands import RequestLease
 from badgeryoke.cluster.reservations.contract import GRANT_AHEAD_MS
 from badgeryoke.cluster.reservations.demand_estimate import DemandEstimate
 from badgeryoke.cluster.reservations.terms import Interval
--- a/badgeryoke/cluster/reservations/contract_records.py
+++ b/badgeryoke/cluster/reservations/contract_records.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from badgeryoke.cluster.reservations.commands import ContractFacts, VersionFacts
+from badgeryoke.cluster.reservations.answers import ContractFacts, VersionFacts
 from badgeryoke.cluster.reservations.contract import Contract, ContractState, ContractVersion
 from badgeryoke.cluster.reservations.terms import ContractTerms, Interval
 
--- a/badgeryoke/cluster/reservations/guaranteed_rates.py
+++ b/badgeryoke/cluster/reservations/guaranteed_rates.py
@@ -7,18 +7,15 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
-from typing import Any, NamedTuple
+from typing import Any
 
 import msgspec
 
 from badgeryoke.cluster.errors import InvalidCall, LeaseExpired, NotFound, Overloaded
 from badgeryoke.cluster.invariants import Invariants, Rule
 from badgeryoke.cluster.leases.lease import EPSILON, LeaseGrant, LeaseRequest
-from badgeryoke.cluster.leases.lease_pool import MAX_HOLDERS, LeasePool
-from badgeryoke.cluster.messages import MemberId
+from badgeryoke.cluster.leases.lease_pool import LeasePool
 from badgeryoke.cluster.reservations.commands import (
-    LeaseAnswer,
     OpenContract,
     ReleaseLease,
     ReportShortfall,
@@ -28,128 +25,19 @@
     TenantCommand,
     VersionDrained,
 )
-from badgeryoke.cluster.reservations.contract import GRANT_AHEAD_MS
+from badgeryoke.cluster.reservations.guaranteed_rate import AnsweredRequest, GuaranteedRate
 from badgeryoke.cluster.reservations.retry_schedule import RetrySchedule
 from badgeryoke.cluster.reservations.settlement import (
     BUSY_PERIOD_GAP_MS,
     NO_LEASE,
     SETTLEMENT_DELAY_SLICES,
     SLICE_MS,
-    UsageTally,
 )
-from badgeryoke.cluster.reservations.terms import Interval
 from badgeryoke.cluster.state_machine.part import ApplyResult, Command, LeaderView
 from badgeryoke.cluster.timings import Timings
 
 MAX_CONTRACTS_PER_GROUP = 1000
-MAX_PROCESSES_PER_HOLDER = 4  # whose calls are told apart; no call outlives that many restarts
 RETENTION_LEASE_TIMES = 10  # behind its last window a contract is closed here
-ROUNDING_TOLERANCE = 1e-6  # units a second, of sums over leases
-
-
-class AnsweredRequest(NamedTuple):
-    """The last answered lease request of a holder, to answer a repeat alike.  Stored as an array."""
-
-    command_id: str
-    answer: dict[str, Any]  # a LeaseAnswer as plain data, as it is sent and stored
-
-
-@dataclass(slots=True)
-class GuaranteedRate:
-    """One contract as its tenant's group applies it."""
-
-    tenant: str
-    version: int
-    rate: float  # units a second
-    intervals: list[Interval]
-    pool: LeasePool
-    pending: OpenContract | None = None
-    last_lease_before: int = 0  # the last lease's number when this version came into force
-    answers: dict[MemberId, AnsweredRequest] = field(default_factory=dict)
-    # The last sequence number of each process of a holder; the newest process is last.
-    sequences: dict[MemberId, dict[str, int]] = field(default_factory=dict)
-    tally: UsageTally = field(default_factory=UsageTally)
-
-    def is_stale(self, command: RequestLease) -> bool:
-        """Whether a later call of that holder was applied already; if not, this one is noted as the last.
-        A holder without a lease may be forgotten and begins anew, and so does a process before the last
-        `MAX_PROCESSES_PER_HOLDER`."""
-        if not command.sequence:
-            return False
-        known = self.sequences.pop(command.holder, {})
-        stale = command.process in known and (
-            command.process != next(reversed(known)) or command.sequence <= known[command.process]
-        )
-        if not stale:
-            known[command.process] = command.sequence
-            if len(known) > MAX_PROCESSES_PER_HOLDER:
-                del known[next(iter(known))]
-        self.sequences[command.holder] = known
-        if len(self.sequences) > MAX_HOLDERS:
-            leases = self.pool.leases
-            forgotten = next((who for who in self.sequences if who not in leases), command.holder)
-            del self.sequences[forgotten]
-        return stale
-
-    def drained(self) -> bool:
-        """Whether no lease of an earlier version is left."""
-        within_target = self.pool.granted() <= self.pool.target + ROUNDING_TOLERANCE
-        return within_target and all(
-            lease.number > self.last_lease_before for lease in self.pool.leases.values()
-        )
-
-    def interval_at(self, at_ms: float) -> Interval | None:
-        """The interval for which leases are granted at a moment."""
-        return next(
-            (
-                interval
-                for interval in self.intervals
-                if interval.start_ms - GRANT_AHEAD_MS <= at_ms < interval.end_ms
-            ),
-            None,
-        )
-
-    def next_change(self, interval: Interval) -> tuple[float, float]:
-        """When a lease's share changes by itself (Unix ms), and the fraction of it that is left then: at
-        the window's end, or at the pending version's moment."""
-        pending = self.pending
-        if pending is None or pending.effective_from_ms >= interval.end_ms:
-            return interval.end_ms, 0.0
-        at_ms = pending.effective_from_ms
-        holds = any(start_ms <= at_ms < end_ms for start_ms, end_ms in pending.intervals)
-        return at_ms, min(pending.rate / self.rate, 1.0) if holds else 0.0
-
-    def dump(self) -> list[Any]:
-        """Plain data, as it is stored in a snapshot behind the contract's name."""
-        return [
-            self.tenant,
-            self.version,
-            self.rate,
-            self.intervals,
-            self.pool.dump(),
-            msgspec.to_builtins(self.pending),
-            self.last_lease_before,
-            self.answers,
-            self.sequences,
-            self.tally.dump(),
-        ]
-
-    @classmethod
-    def load(cls, record: list[Any]) -> GuaranteedRate:
-        """The reverse of `dump`."""
-        tenant, version, rate, intervals, pool, pending, last_lease_before, answers, sequences, tally = record
-        return cls(
-            tenant,
-            version,
-            rate,
-            [Interval(start_ms, end_ms) for start_ms, end_ms in intervals],
-            LeasePool.load(pool),
-            msgspec.convert(pending, OpenContract | None),
-            last_lease_before,
-            {holder: AnsweredRequest(*answered) for holder, answered in answers.items()},
-            sequences,
-            UsageTally.load(tally),
-        )
 
 
 class GuaranteedRates:
@@ -251,7 +139,7 @@
             self._check_number(command.contract, grant.number)
             self.last_lease_number = grant.number
             self._unseen.add(command.contract)
-        answer: dict[str, Any] = msgspec.to_builtins(_lease_answer(at_ms, contract, interval, grant))
+        answer: dict[str, Any] = msgspec.to_builtins(contract.lease_answer(at_ms, interval, grant))
         if grant.number:
             contract.answers[command.holder] = AnsweredRequest(command.id, answer)
         else:
@@ -414,27 +302,3 @@
 
 def _unknown_command(command: Command) -> ApplyResult:
     return ApplyResult(error=InvalidCall("floors", f"unknown command {command.command_name()}"))
-
-
-def _lease_answer(
-    at_ms: float, contract: GuaranteedRate, interval: Interval | None, grant: LeaseGrant
-) -> LeaseAnswer:
-    until_ms, later_fraction = contract.next_change(interval) if interval is not None else (0.0, 0.0)
-    return LeaseAnswer(
-        lease_number=grant.number,
-        share=grant.share,
-        units=grant.units,
-        depth=grant.depth,
-        fair_share=grant.fair_share,
-        max_share=grant.max_share,
-        others_deficit=grant.others_deficit,
-        fair_depth=grant.fair_depth,
-        slack=grant.slack,
-        holders=grant.holders,
-        version=contract.version,
-        from_ms=interval.start_ms if interval is not None else 0.0,
-        until_ms=until_ms,
-        later_fraction=later_fraction,
-        at_ms=at_ms,
-        free_units=contract.pool.free_units,
-    )
--- a/badgeryoke/cluster/reservations/lease_client.py
+++ b/badgeryoke/cluster/reservations/lease_client.py
@@ -13,7 +13,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from typing import Any
 
@@ -22,11 +22,9 @@
 from badgeryoke.cluster.errors import ClusterError, InvalidCall, LeaseExpired, NotFound
 from badgeryoke.cluster.leases.lease import EPSILON
 from badgeryoke.cluster.messages import MemberId
+from badgeryoke.cluster.reservations.answers import ContractsAnswer, LeaseAnswer
 from badgeryoke.cluster.reservations.commands import (
     MAX_SLICES_PER_REPORT,
-    ContractFacts,
-    ContractsAnswer,
-    LeaseAnswer,
     PollContracts,
     ReportShortfall,
     ReportUsage,
@@ -34,10 +32,10 @@
 )
 from badgeryoke.cluster.reservations.contract_lease import (
     ContractLease,
-    CustomersFrom,
     WaitingRequest,
 )
 from badgeryoke.cluster.reservations.lease_renewal import Renewal, apply_renewal, plan_renewal
+from badgeryoke.cluster.reservations.lease_table import LeaseTable
 from badgeryoke.cluster.reservations.settlement import MAX_WAIT_MS
 from badgeryoke.cluster.state_machine.part import ApplyResult, Command
 from badgeryoke.cluster.timings import Timings
@@ -52,7 +50,6 @@
 USAGE_REPORT_MS = 500.0  # between two reports of a contract's usage
 MAX_QUEUE_MS = 200.0  # of the contract's rate: requests that may wait while nothing is lacking
 MAX_WAITING = 1024  # requests of one contract
-SETTLED_RETENTION_MS = 60_000.0  # behind its last lease a settled contract is kept for its last reports
 FLEET_KEY = ""  # of calls to the cluster's own group
 
 
@@ -78,11 +75,10 @@
     def __init__(
         self, me: MemberId, process: str, timings: Timings, zone: str = "", gateways: int = 1
     ) -> None:
-        self._me, self._process, self._timings, self._zone = me, process, timings, zone
+        self._me, self._process, self._timings = me, process, timings
         self._reporter = f"{me}#{process}"
         self.poll_ms = max(POLL_MS, POLL_MS_PER_GATEWAY * gateways)
-        self.leases: dict[str, ContractLease] = {}
-        self._leases_by_customer: dict[int, list[ContractLease]] = {}
+        self._table = LeaseTable(zone)
         self._revision, self._polled_ms = -1, -math.inf
         self._in_flight: dict[str, Command] = {}  # one call of each lane at a time
         self._calls_made = 0
@@ -90,6 +86,11 @@
         self.due = math.inf  # it has a call to make by then, before it is polled again anyway
         self.wake: Callable[[], None] = _no_wake  # called when a request has moved `due` forward
 
+    @property
+    def leases(self) -> dict[str, ContractLease]:
+        """The leases by contract."""
+        return self._table.by_contract
+
     # Calls
     # ------------------------------------------------------------------------------------
 
@@ -227,7 +228,8 @@
             case PollContracts() if error is None:
                 answer = msgspec.convert(value, ContractsAnswer)
                 if answer.contracts is not None:
-                    self._update_contracts(now, answer.revision, answer.contracts)
+                    self._revision = answer.revision
+                    self._table.update(now, answer.contracts)
             case ReportUsage() if error is None and command.contract in self.leases:
                 self.leases[command.contract].usage.confirm(command.slices)
             case ReportShortfall() if error is None and command.contract in self.leases:
@@ -265,30 +267,6 @@
                 self.due = due_ms
                 self.wake()
 
-    def _update_contracts(self, now: float, revision: int, contracts: Iterable[ContractFacts]) -> None:
-        self._revision = revision
-        leases: dict[str, ContractLease] = {}
-        for facts in contracts:
-            if facts.zone and facts.zone != self._zone:
-                continue
-            name = facts.contract
-            lease = self.leases.get(name)
-            if lease is None:
-                lease = ContractLease(name, facts.tenant, facts.rank, facts, [], filled_ms=now)
-            leases[name] = lease
-            lease.facts, lease.rank = facts, facts.rank
-            lease.customers = [
-                CustomersFrom(version.effective_from_ms, frozenset(version.customers))
-                for version in facts.versions
-            ]
-        for name, lease in self.leases.items():
-            # Settled: the lease expires by itself, and what is unreported is reported first.
-            unreported = lease.usage.slices or lease.shortfalls != lease.confirmed_shortfalls
-            if name not in leases and unreported and now < lease.expires_ms + SETTLED_RETENTION_MS:
-                leases[name] = lease
-        self.leases = leases
-        self._leases_by_customer = _by_customer(leases.values())
-
     # Requests of customers
     # ------------------------------------------------------------------------------------
 
@@ -296,7 +274,7 @@
         """Draw from a customer's first contract that has the units here.  None: `wait`, or serve it as an
         ordinary request."""
         wall = now + self._wall_offset_ms
-        for lease in self._open_leases(now, customer):
+        for lease in self._table.open_for(customer, now, wall):
             lease.record(now, wall, units)
             if not lease.waiting and lease.draw(now, wall, units, lease.usage.current):
                 if lease.share <= 0.0:
@@ -309,7 +287,7 @@
         `finished_waits` gives its token back.  False where more wait than can be served by then: it is an
         ordinary request."""
         wall = now + self._wall_offset_ms
-        for lease in self._open_leases(now, customer):
+        for lease in self._table.open_for(customer, now, wall):
             admitted = self._may_wait(wall, lease, units)
             if admitted:
                 deadline_ms = now + MAX_WAIT_MS
@@ -344,15 +322,6 @@
                 finished.append((request.token, reserved))
         return finished
 
-    def _open_leases(self, now: float, customer: int) -> Iterator[ContractLease]:
-        """Leases on the contracts of a customer whose window holds now, filled up to now."""
-        wall = now + self._wall_offset_ms
-        for lease in self._leases_by_customer.get(customer, ()):
-            interval = lease.interval_at(wall)
-            if interval is not None and wall >= interval.start_ms and lease.has_customer(customer, wall):
-                lease.fill(now, wall)
-                yield lease
-
     def failed(self, now: float, reserved: ReservedUnits, cause: str) -> None:
         """Units were drawn and no server served them: a shortfall, by a cause ("load", "server lost", ...)."""
         if (lease := self.leases.get(reserved.contract)) is not None:
@@ -413,13 +382,3 @@
         ),
         None,
     )
-
-
-def _by_customer(leases: Iterable[ContractLease]) -> dict[int, list[ContractLease]]:
-    """The leases of each customer, those of the most important contracts first."""
-    found: dict[int, list[ContractLease]] = {}
-    for lease in sorted(leases, key=lambda lease: (lease.rank, lease.contract)):
-        customers = {customer for known in lease.customers for customer in known.customers}
-        for customer in sorted(customers):
-            found.setdefault(customer, []).append(lease)
-    return found
--- /dev/null
+++ b/badgeryoke/cluster/reservations/reserved_capacity.py
@@ -0,0 +1,128 @@
+"""Capacity that may be reserved, and whether contracts fit it.
+
+What may be reserved is the stated capacity less a fraction for losses, less a rate for requests without a
+contract.  Zones have a part of it in proportion to their own capacity.  Rates are units a second, times Unix
+ms.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+
+from badgeryoke.cluster.errors import InsufficientCapacity
+from badgeryoke.cluster.invariants import Invariants, Rule
+from badgeryoke.cluster.reservations.capacity_profile import (
+    CapacityLimit,
+    CapacityProfile,
+    ReservedInterval,
+    earliest_fit_ms,
+)
+from badgeryoke.cluster.reservations.commands import SetCapacity
+from badgeryoke.cluster.reservations.contract import Contract
+from badgeryoke.cluster.reservations.terms import ContractTerms
+from badgeryoke.cluster.timings import Timings
+
+ROUNDING_TOLERANCE = 1e-6  # units a second, of sums over contracts
+WHOLE_CLUSTER = ""  # in place of a zone
+
+
+class ReservedCapacity:
+    """The stated capacity; the contracts that take it are given to each method."""
+
+    def __init__(self, timings: Timings, rules: Invariants) -> None:
+        self._timings, self._rules = timings, rules
+        self.capacity = 0.0
+        self.reserve_fraction = 0.0
+        self.unreserved_rate = 0.0
+        self.zones: dict[str, float] = {}  # capacity of each
+        self.revision = 0  # times that a capacity was stated
+        # What was reserved already when less capacity was stated, by zone.
+        self.overcommitted: dict[str, float] = {}
+
+    @property
+    def lease_tail_ms(self) -> float:
+        """How long behind a window's end a lease may still be in use."""
+        return self._timings.outlast()
+
+    def available(self, zone: str = WHOLE_CLUSTER) -> float:
+        """What may be reserved: in all, or in a zone."""
+        if not zone:
+            return max(self.capacity * (1.0 - self.reserve_fraction) - self.unreserved_rate, 0.0)
+        fraction = self.zones.get(zone, self.capacity) / self.capacity if self.capacity else 0.0
+        return self.available() * min(fraction, 1.0)
+
+    def profile(
+        self, contracts: Iterable[Contract], zone: str = WHOLE_CLUSTER, without: str = ""
+    ) -> CapacityProfile:
+        """What contracts take over time, in all or in a zone, but for one contract."""
+        return CapacityProfile(
+            interval
+            for contract in contracts
+            if contract.name != without
+            and contract.is_live
+            and (not zone or any(version.terms.zone == zone for version in contract.versions))
+            for interval in contract.reserved_intervals(self.lease_tail_ms)
+        )
+
+    def check_fit(
+        self,
+        contracts: Iterable[Contract],
+        at_ms: float,
+        name: str,
+        reserved: list[ReservedInterval],
+        terms: ContractTerms,
+    ) -> InsufficientCapacity | None:
+        """Why a contract does not fit beside all others, or None.  `reserved`: all that it would take."""
+        contracts = list(contracts)
+        limits = [
+            CapacityLimit(self.profile(contracts, zone, without=name), self.available(zone))
+            for zone in ((WHOLE_CLUSTER, terms.zone) if terms.zone else (WHOLE_CLUSTER,))
+        ]
+        ahead = [
+            ReservedInterval(max(start_ms, at_ms), end_ms, rate)
+            for start_ms, end_ms, rate in reserved
+            if end_ms > at_ms
+        ]
+        exceeded = [limit for limit in limits if not limit.fits(ahead)]
+        if not exceeded:
+            return None
+        return InsufficientCapacity(
+            name,
+            f"rate: {terms.rate:g} units a second are asked for",
+            fits=min(limit.free_rate(ahead) for limit in exceeded),
+            fits_from_ms=earliest_fit_ms(limits, reserved),
+        )
+
+    def restate(self, contracts: Iterable[Contract], at_ms: float, command: SetCapacity) -> float:
+        """Take in another capacity; gives by how much contracts exceed it.
+
+        What was reserved stays reserved; until it fits again nothing new is admitted, and
+        `badgeryoke.cluster.reservations.priority_shedding` decides what is shed first."""
+        contracts = list(contracts)
+        self.capacity = command.capacity
+        self.reserve_fraction = command.reserve_fraction
+        self.unreserved_rate = command.unreserved_rate
+        self.zones = dict(sorted(command.zones.items()))
+        self.revision += 1
+        self.overcommitted = {
+            zone: self.profile(contracts, zone).peak(at_ms, math.inf) for zone in (WHOLE_CLUSTER, *self.zones)
+        }
+        return max(self.overcommitted[WHOLE_CLUSTER] - self.available(), 0.0)
+
+    def verify(self, contracts: Iterable[Contract], at_ms: float) -> None:
+        """Check the invariant: what is reserved fits from here on, but for what was reserved when less
+        capacity was stated."""
+        contracts = list(contracts)
+        for zone in (WHOLE_CLUSTER, *self.zones):
+            self._verify_zone(contracts, zone, at_ms)
+
+    def _verify_zone(self, contracts: list[Contract], zone: str, at_ms: float) -> None:
+        peak, available = self.profile(contracts, zone).peak(at_ms, math.inf), self.available(zone)
+        overcommitted = self.overcommitted.get(zone, 0.0)
+        self._rules.check(
+            Rule.CONTRACTS_FIT,
+            peak <= max(available, overcommitted) + ROUNDING_TOLERANCE,
+            lambda: f"{peak:g} units a second promised, {available:g} may be",
+        )
+        self.overcommitted[zone] = min(overcommitted, peak) if peak > available else 0.0
--- a/badgeryoke/testbed/dispatcher_cost.py
+++ b/badgeryoke/testbed/dispatcher_cost.py
@@ -17,10 +17,14 @@
 from collections.abc import Callable
 from typing import Any
 
-from badgeryoke.cluster.reservations.commands import ContractFacts, VersionFacts
+import msgspec
+
+from badgeryoke.cluster.reservations.answers import ContractFacts, ContractsAnswer, VersionFacts
+from badgeryoke.cluster.reservations.commands import PollContracts
 from badgeryoke.cluster.reservations.contract_lease import ContractLease
 from badgeryoke.cluster.reservations.lease_client import ReservationClient
 from badgeryoke.cluster.reservations.terms import Interval
+from badgeryoke.cluster.state_machine.part import ApplyResult
 from badgeryoke.cluster.timings import Timings
 from badgeryoke.decisions import interface as api
 from badgeryoke.gateway.actor import ActorScheduler
@@ -96,7 +100,8 @@
             effective_from_ms=0.0,
         )
         facts = ContractFacts(contract="peak", tenant="t", rank=1, zone="", versions=(version,))
-        floor._update_contracts(0.0, 1, [facts])
+        answer = ApplyResult(msgspec.to_builtins(ContractsAnswer(revision=1, contracts=(facts,))))
+        floor.answered(0.0, PollContracts(id="contracts"), answer)
         one: ContractLease = floor.leases["peak"]
         one.share = one.depth = one.level = one.fair_share = one.wanted_rate = 1e9
         one.expires_ms = one.until_ms = math.inf
