--- a/badgeryoke/gateway/cluster/rolling_restart_duties.py
+++ b/badgeryoke/gateway/cluster/rolling_restart_duties.py
@@ -5,9 +5,9 @@
 import logging
 from typing import Protocol
 
-from badgeryoke.cluster.connection_limits import ConnectionLeaseHolder
+from badgeryoke.cluster.connection_limits.lease_holder import ConnectionLeaseHolder
 from badgeryoke.cluster.node import ClusterNode
-from badgeryoke.cluster.rolling_restart.restart import DesiredState, RollingRestartAgent
+from badgeryoke.cluster.rolling_restart.gateway_agent import DesiredState, RollingRestartAgent
 
 log = logging.getLogger(__name__)
 
@@ -48,9 +48,9 @@
 
     def apply_restrictions(self, draining: bool) -> None:
         """Have the node and the leases go by what the restart wants; `draining`: the process ends anyway."""
-        self._holder.grow = self.agent.grow
-        self._holder.leaving = draining or self.agent.lead_nothing
-        self._node.lead_nothing = self.agent.lead_nothing
+        self._holder.need_multiple = self.agent.need_multiple
+        self._holder.draining = draining or self.agent.must_not_lead
+        self._node.lead_nothing = self.agent.must_not_lead
 
     def report_state(self) -> None:
         """Tell the agent how this gateway stands."""
@@ -58,18 +58,19 @@
         voting_replicas = [
             replica for replica in node.replicas.values() if replica.me in replica.config.voters
         ]
-        self.agent.tell(
-            leads=sum(replica.leading for replica in voting_replicas),
-            trimmed=all(pool.open - pool.closing <= pool.need for pool in holder.pools.values()),
+        self.agent.observe(
+            groups_led=sum(replica.leading for replica in voting_replicas),
+            trimmed=all(pool.open - pool.closing <= pool.need for pool in holder.servers.values()),
             drained=self._gateway.drained,
             empty=not self._gateway.unanswered and holder.empty,
-            whole=node.founding.record is not None and all(replica.whole for replica in voting_replicas),
+            copies_complete=node.founding.record is not None
+            and all(replica.whole for replica in voting_replicas),
         )
 
     def carry_out(self, now_ms: float) -> None:
         """Do what the restart wants now."""
-        for desired in self.agent.duties(now_ms):
-            log.info("rolling restart %s: %s", self.agent.record.get("roll"), desired.name.lower())
+        for desired in self.agent.next_actions(now_ms):
+            log.info("rolling restart %s: %s", self.agent.restart, desired.name.lower())
             obstacle = self._apply(desired)
             if obstacle:
                 log.warning("rolling restart: cannot %s: %s", desired.name.lower(), obstacle)
