Make the lease pool, admission and the lease client of short functions and typed results

Changes of contracts are a module of their own, waiting and figures of one lease are its methods, and tuples between functions have names.

--- a/badgeryoke/cluster/leases/lease.py
+++ b/badgeryoke/cluster/leases/lease.py
@@ -37,6 +37,18 @@
         """Whether the lease is given back."""
         return self.wanted <= 0.0 and self.kept <= 0.0 and self.kept_depth <= 0.0 and not self.takes_spare
 
+    def is_within(self, share: float, depth: float) -> bool:
+        """Whether its amounts are valid for a holder that has a share and a bucket of a depth."""
+        return (
+            0.0 <= self.kept <= share + EPSILON
+            and 0.0 <= self.wanted < math.inf
+            and self.returned_units >= 0.0
+            and 0.0 <= self.wanted_units < math.inf
+            and self.min_depth >= 0.0
+            and self.kept_depth >= 0.0
+            and self.kept_depth + self.returned_units <= depth + EPSILON
+        )
+
     @property
     def wanted_share(self) -> float:
         """What it wants a share for."""
--- a/badgeryoke/cluster/leases/lease_pool.py
+++ b/badgeryoke/cluster/leases/lease_pool.py
@@ -23,7 +23,7 @@
 
 import math
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, NamedTuple
 
 from badgeryoke.cluster.errors import InvalidCall, LeaseExpired
 from badgeryoke.cluster.invariants import Invariants, Rule
@@ -38,6 +38,22 @@
 MAX_SPARE_TAKERS = 20  # that get a share of a rate nobody wants; each of them requests often
 
 
+class NewShare(NamedTuple):
+    """What a request comes to: its fair share, the most that its holder may hold on to, and its share."""
+
+    fair_share: float
+    max_share: float
+    share: float
+
+
+class NewBucket(NamedTuple):
+    """What a request comes to: its fair depth, its depth, and the units granted for its bucket."""
+
+    fair_depth: float
+    depth: float
+    units: float
+
+
 @dataclass(slots=True)
 class LeasePool:
     """One capacity and its leases.
@@ -120,33 +136,38 @@
         self._bound_free_units(self.free_units + request.returned_units, request.kept_depth)
         if request.returns_all:
             return LeaseGrant(0, 0.0, 0.0, self.slack, len(self.leases))
-        fair_share, max_share, share = self._new_share(request, share_before)
-        fair_depth, depth, units = self._new_bucket(request, is_new=lease is None)
-        self.last_number += 1
-        self._add(
-            request.holder,
-            LeaseShare(
-                self.last_number,
-                share,
-                request.wanted,
-                depth,
-                request.takes_spare,
-                request.draws_per_request,
-            ),
-        )
+        new_share = self._new_share(request, share_before)
+        new_bucket = self._new_bucket(request, is_new=lease is None)
+        self._add_lease(request, new_share.share, new_bucket.depth)
         self._sum_afresh(rules)
         self._check_bounds(rules, granted_before, depth_before)
+        return self._grant(request, new_share, new_bucket)
+
+    def _add_lease(self, request: LeaseRequest, share: float, depth: float) -> None:
+        self.last_number += 1
+        lease = LeaseShare(
+            self.last_number,
+            share,
+            request.wanted,
+            depth,
+            request.takes_spare,
+            request.draws_per_request,
+        )
+        self.leases[request.holder] = lease
+        self.sums.add(lease)
+
+    def _grant(self, request: LeaseRequest, new_share: NewShare, new_bucket: NewBucket) -> LeaseGrant:
         deficit = 0.0 if self.even_split else self._others_deficit(request)
         return LeaseGrant(
             number=self.last_number,
-            share=share,
-            units=units,
+            share=new_share.share,
+            units=new_bucket.units,
             slack=self.slack,
             holders=len(self.leases),
-            depth=depth,
-            fair_share=fair_share,
-            fair_depth=fair_depth,
-            max_share=max(max_share, share - deficit),
+            depth=new_bucket.depth,
+            fair_share=new_share.fair_share,
+            fair_depth=new_bucket.fair_depth,
+            max_share=max(new_share.max_share, new_share.share - deficit),
             others_deficit=deficit,
         )
 
@@ -156,15 +177,7 @@
         share, depth = (lease.share, lease.depth) if lease is not None else (0.0, 0.0)
         if request.lease_number != (lease.number if lease is not None else 0):
             return LeaseExpired(request.holder, f"lease {request.lease_number} is not the one in force")
-        if not (
-            0.0 <= request.kept <= share + EPSILON
-            and 0.0 <= request.wanted < math.inf
-            and request.returned_units >= 0.0
-            and 0.0 <= request.wanted_units < math.inf
-            and request.min_depth >= 0.0
-            and request.kept_depth >= 0.0
-            and request.kept_depth + request.returned_units <= depth + EPSILON
-        ):
+        if not request.is_within(share, depth):
             return InvalidCall(
                 request.holder,
                 f"keep {request.kept!r}, wish {request.wanted!r}, hold {request.kept_depth!r} "
@@ -174,8 +187,8 @@
             return InvalidCall(request.holder, f"{MAX_HOLDERS} hold a part already")
         return None
 
-    def _new_share(self, request: LeaseRequest, share_before: float) -> tuple[float, float, float]:
-        """The fair share, the most it may hold on to, and what it gets; its old lease was removed."""
+    def _new_share(self, request: LeaseRequest, share_before: float) -> NewShare:
+        """The holder's old lease was removed."""
         fair_share = self.fair_share(
             request.holder, request.wanted, request.takes_spare, request.draws_per_request
         )
@@ -189,10 +202,10 @@
         share = max(min(max_share, max(self.slack, 0.0)), min(request.kept, share_before))
         if self.step:
             share = int(share / self.step + EPSILON) * self.step
-        return fair_share, max_share, share
+        return NewShare(fair_share, max_share, share)
 
-    def _new_bucket(self, request: LeaseRequest, is_new: bool) -> tuple[float, float, float]:
-        """The fair depth, the depth it gets, and the units, which are no longer free."""
+    def _new_bucket(self, request: LeaseRequest, is_new: bool) -> NewBucket:
+        """The holder's old lease was removed; the units are not free any more."""
         holders, wanted_shares = len(self.leases), max(self.sums.wanted_shares, 0.0)
         fair_depth = fair_shares.fair_depth(self.depth, holders, request.wanted_share, wanted_shares)
         fair_depth = max(fair_depth, min(request.min_depth, self.depth))
@@ -203,7 +216,7 @@
         free_depth = max(self.depth - self._granted_depth() - request.kept_depth - self.free_units, 0.0)
         self.free_units -= units
         depth = request.kept_depth + max(min(increase, free_depth + units), units)
-        return fair_depth, depth, units
+        return NewBucket(fair_depth, depth, units)
 
     def _check_bounds(self, rules: Invariants, granted_before: float, depth_before: float) -> None:
         granted, granted_depth = self.granted(), self._granted_depth()
@@ -303,10 +316,6 @@
     # Leases and their sums
     # ------------------------------------------------------------------------------------
 
-    def _add(self, holder: MemberId, lease: LeaseShare) -> None:
-        self.leases[holder] = lease
-        self.sums.add(lease)
-
     def _remove(self, holder: MemberId) -> None:
         self.sums.add(self.leases.pop(holder), -1.0)
         if not self.leases:
--- a/badgeryoke/cluster/reservations/admission.py
+++ b/badgeryoke/cluster/reservations/admission.py
@@ -31,11 +31,9 @@
     WrongState,
 )
 from badgeryoke.cluster.invariants import Invariants
-from badgeryoke.cluster.leases.lease import EPSILON
 from badgeryoke.cluster.reservations.answers import ContractsAnswer
 from badgeryoke.cluster.reservations.capacity_profile import (
     ReservedInterval,
-    rate_at,
 )
 from badgeryoke.cluster.reservations.commands import (
     AdvanceContracts,
@@ -55,6 +53,12 @@
     ContractState,
     ContractVersion,
 )
+from badgeryoke.cluster.reservations.contract_changes import (
+    NOTICE_LEASE_TIMES,
+    added_intervals,
+    check_changeable,
+    check_new_terms,
+)
 from badgeryoke.cluster.reservations.contract_records import (
     contract_facts,
     contract_status,
@@ -107,7 +111,9 @@
             case ChangeContract():
                 result = self._change(at_ms, command.contract, command.terms, command.effective_from_ms)
             case CancelContract():
-                result = self._change(at_ms, command.contract, None, at_ms + 2 * self.lease_tail_ms)
+                result = self._change(
+                    at_ms, command.contract, None, at_ms + NOTICE_LEASE_TIMES * self.lease_tail_ms
+                )
             case VersionDrained():
                 result = self._version_drained(at_ms, command)
             case ReportShortfall():
@@ -160,16 +166,16 @@
         contract = self.contracts.get(name)
         if contract is None:
             return ApplyResult(error=NotFound(name, "no such contract is known"))
-        error = self._check_changeable(at_ms, contract, effective_from_ms)
+        error = check_changeable(contract, at_ms, effective_from_ms, self.lease_tail_ms)
         if error is None and terms is not None:
-            error = _check_new_terms(contract, terms, effective_from_ms)
+            error = check_new_terms(contract, terms, effective_from_ms)
         if error is not None:
             return ApplyResult(error=error)
         old = contract.newest
         intervals = expand_windows(terms.windows) if terms is not None else []
         pending = ContractVersion(self.last_version + 1, terms or old.terms, intervals, effective_from_ms)
         if terms is not None:
-            added = self._added_intervals(contract, pending)
+            added = added_intervals(contract, pending, self.lease_tail_ms)
             if added and (rejection := self._check_fit(at_ms, name, added, terms)) is not None:
                 return ApplyResult(error=rejection)
         contract.versions.append(pending)
@@ -180,32 +186,6 @@
             contract.advance(ContractEvent.CANCEL)
         return ApplyResult(contract_status(contract))
 
-    def _check_changeable(
-        self, at_ms: float, contract: Contract, effective_from_ms: float
-    ) -> WrongState | InvalidCall | None:
-        """Why a contract takes no other version now."""
-        name, newest = contract.name, contract.newest
-        if contract.cancelled or not contract.is_live or newest.intervals[-1].end_ms <= at_ms:
-            state = "cancelled" if contract.cancelled else contract.state.value
-            return WrongState(name, f"it is {state}")
-        if len(contract.versions) > 1:
-            return WrongState(name, "the change before is not through yet")
-        if effective_from_ms < at_ms + 2 * self.lease_tail_ms - EPSILON:
-            return InvalidCall(
-                name, f"holds_from_ms: expected {2 * self.lease_tail_ms:.0f} ms ahead at the least"
-            )
-        return None
-
-    def _added_intervals(self, contract: Contract, pending: ContractVersion) -> list[ReservedInterval]:
-        """What a contract would take with a pending version where that is more than it takes already."""
-        before = contract.reserved_intervals(self.lease_tail_ms)
-        changed = Contract(contract.name, [contract.newest, pending])
-        return [
-            interval
-            for interval in changed.reserved_intervals(self.lease_tail_ms)
-            if interval.rate > rate_at(before, interval.start_ms) + EPSILON
-        ]
-
     def _version_drained(self, at_ms: float, command: VersionDrained) -> ApplyResult:
         contract = self.contracts.get(command.contract)
         if contract is None:
@@ -381,15 +361,3 @@
         self._open_retries.clear()
         contracts = [load_contract(record) for record in records]
         self.contracts = {contract.name: contract for contract in contracts}
-
-
-def _check_new_terms(
-    contract: Contract, terms: ContractTerms, effective_from_ms: float
-) -> InvalidCall | None:
-    """Why a contract can't change to these terms."""
-    old = contract.newest.terms
-    if (terms.tenant, terms.zone) != (old.tenant, old.zone):
-        return InvalidCall(contract.name, "tenant: it stays, and the hall as well")
-    if expand_windows(terms.windows)[-1].end_ms <= effective_from_ms:
-        return InvalidCall(contract.name, "windows: expected one that ends behind holds_from_ms")
-    return None
--- a/badgeryoke/cluster/reservations/contract_lease.py
+++ b/badgeryoke/cluster/reservations/contract_lease.py
@@ -12,6 +12,7 @@
 
 import math
 from collections import deque
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from typing import Any, NamedTuple
 
@@ -20,12 +21,15 @@
 from badgeryoke.cluster.reservations.commands import RequestLease
 from badgeryoke.cluster.reservations.contract import GRANT_AHEAD_MS
 from badgeryoke.cluster.reservations.demand_estimate import DemandEstimate
+from badgeryoke.cluster.reservations.settlement import MAX_WAIT_MS
 from badgeryoke.cluster.reservations.terms import Interval
 from badgeryoke.cluster.reservations.usage_slices import GroupClock, SliceCount, UsageSlices
 
 TOLERANCE_FRACTION = 0.1  # differences of a rate below this fraction of it are not acted on
 FIRST_PAUSE_MS = 10.0  # the shortest pause between two requests for a lease
 PACING_ALLOWANCE_MS = 30.0  # of units at the contract's rate that may be drawn at once while paced
+MAX_QUEUE_MS = 200.0  # of the contract's rate: requests that may wait while nothing is lacking
+MAX_WAITING = 1024  # requests of one contract
 
 
 class CustomersFrom(NamedTuple):
@@ -188,6 +192,60 @@
         """Units of all requests that wait."""
         return float(sum(request.units for request in self.waiting))
 
+    def wait(self, now: float, wall: float, units: float, token: Any) -> bool:
+        """Let the last request wait for units, in order; False where it would not be served in time."""
+        unserved = self.draws_per_request or self.lacks_share(self.wanted_rate)
+        max_units = self.contract_rate(wall) * (MAX_WAIT_MS if unserved else MAX_QUEUE_MS) / 1000.0
+        fits_queue = self.waiting_units() + units <= max(max_units, units)
+        if not fits_queue or len(self.waiting) >= MAX_WAITING or not self.fits(units):
+            return False
+        self.waiting.append(WaitingRequest(now + MAX_WAIT_MS, units, token, self.usage.current))
+        return True
+
+    def finished_waits(self, now: float, wall: float) -> Iterator[tuple[WaitingRequest, bool]]:
+        """The requests whose wait is over, each with whether its units were drawn."""
+        while self.waiting:
+            request = self.waiting[0]
+            self.fill(now, wall)
+            in_time = now <= request.deadline_ms
+            drawn = in_time and self.draw(now, wall, request.units, request.usage)
+            if not drawn and in_time and self.fits(request.units):
+                return
+            self.waiting.popleft()
+            yield request, drawn
+
+    def unconfirmed_cause(self) -> str | None:
+        """The first cause of a shortfall that was not reported in full."""
+        for cause, units in self.shortfalls.items():
+            if units > self.confirmed_shortfalls.get(cause, 0.0):
+                return cause
+        return None
+
+    # Figures
+    # ------------------------------------------------------------------------------------
+
+    def idle_share(self, now: float) -> float:
+        """What of the share the tenant does not use now."""
+        if self.waiting:
+            return 0.0
+        used = 0.0 if self.demand.has_stopped(now) else self.demand.rate(now)
+        return max(self.share - used, 0.0)
+
+    def status(self, now: float) -> dict[str, Any]:
+        """What operators are shown: plain data, by the keys of the management interface."""
+        return {
+            "part": self.share,
+            "level": self.level,
+            "fair": self.fair_share,
+            "asked": self.demand.rate(now),
+            "call_ms": self.call_ms,
+            "waiting": self.waiting_units(),
+            "holders": self.holders,
+            "ends_in_ms": max(self.expires_ms - now, 0.0),
+            "drawn": self.drawn,
+            "short": dict(self.shortfalls),
+        }
+
     # Answers
     # ------------------------------------------------------------------------------------
 
--- a/badgeryoke/cluster/reservations/guaranteed_rate.py
+++ b/badgeryoke/cluster/reservations/guaranteed_rate.py
@@ -27,6 +27,13 @@
     answer: dict[str, Any]  # a LeaseAnswer as plain data, as it is sent and stored
 
 
+class ShareChange(NamedTuple):
+    """When a lease's share changes by itself (Unix ms), and the fraction of it that is left then."""
+
+    at_ms: float
+    later_fraction: float
+
+
 @dataclass(slots=True)
 class GuaranteedRate:
     """One contract as its tenant's group applies it."""
@@ -82,19 +89,18 @@
             None,
         )
 
-    def next_change(self, interval: Interval) -> tuple[float, float]:
-        """When a lease's share changes by itself (Unix ms), and the fraction of it that is left then: at
-        the window's end, or at the pending version's moment."""
+    def next_change(self, interval: Interval) -> ShareChange:
+        """The next one within an interval: its end, or the pending version's moment."""
         pending = self.pending
         if pending is None or pending.effective_from_ms >= interval.end_ms:
-            return interval.end_ms, 0.0
+            return ShareChange(interval.end_ms, 0.0)
         at_ms = pending.effective_from_ms
         holds = any(start_ms <= at_ms < end_ms for start_ms, end_ms in pending.intervals)
-        return at_ms, min(pending.rate / self.rate, 1.0) if holds else 0.0
+        return ShareChange(at_ms, min(pending.rate / self.rate, 1.0) if holds else 0.0)
 
     def lease_answer(self, at_ms: float, interval: Interval | None, grant: LeaseGrant) -> LeaseAnswer:
         """The answer to a lease request that was granted.  `interval`: the one that it is for."""
-        until_ms, later_fraction = self.next_change(interval) if interval is not None else (0.0, 0.0)
+        change = self.next_change(interval) if interval is not None else ShareChange(0.0, 0.0)
         return LeaseAnswer(
             lease_number=grant.number,
             share=grant.share,
@@ -108,8 +114,8 @@
             holders=grant.holders,
             version=self.version,
             from_ms=interval.start_ms if interval is not None else 0.0,
-            until_ms=until_ms,
-            later_fraction=later_fraction,
+            until_ms=change.at_ms,
+            later_fraction=change.later_fraction,
             at_ms=at_ms,
             free_units=self.pool.free_units,
         )
--- a/badgeryoke/cluster/reservations/lease_client.py
+++ b/badgeryoke/cluster/reservations/lease_client.py
@@ -32,11 +32,9 @@
 )
 from badgeryoke.cluster.reservations.contract_lease import (
     ContractLease,
-    WaitingRequest,
 )
 from badgeryoke.cluster.reservations.lease_renewal import Renewal, apply_renewal, plan_renewal
 from badgeryoke.cluster.reservations.lease_table import LeaseTable
-from badgeryoke.cluster.reservations.settlement import MAX_WAIT_MS
 from badgeryoke.cluster.state_machine.part import ApplyResult, Command
 from badgeryoke.cluster.timings import Timings
 
@@ -48,8 +46,6 @@
 MAX_RETRY_DOUBLINGS = 8
 SHORTFALL_REPORT_MS = 1000.0  # between two reports of a contract's shortfalls
 USAGE_REPORT_MS = 500.0  # between two reports of a contract's usage
-MAX_QUEUE_MS = 200.0  # of the contract's rate: requests that may wait while nothing is lacking
-MAX_WAITING = 1024  # requests of one contract
 FLEET_KEY = ""  # of calls to the cluster's own group
 
 
@@ -189,7 +185,7 @@
         if FLEET_KEY in lanes:
             return
         for lease in self.leases.values():
-            cause = _unconfirmed_cause(lease)
+            cause = lease.unconfirmed_cause()
             if cause is not None and now >= lease.next_shortfall_report_ms:
                 lease.next_shortfall_report_ms = now + SHORTFALL_REPORT_MS
                 yield ReportShortfall(
@@ -288,36 +284,19 @@
         ordinary request."""
         wall = now + self._wall_offset_ms
         for lease in self._table.open_for(customer, now, wall):
-            admitted = self._may_wait(wall, lease, units)
-            if admitted:
-                deadline_ms = now + MAX_WAIT_MS
-                lease.waiting.append(WaitingRequest(deadline_ms, units, token, lease.usage.current))
+            waits = lease.wait(now, wall, units, token)
             self._renew_soon(now, lease)
-            if admitted:
+            if waits:
                 return True
         return False
 
-    @staticmethod
-    def _may_wait(wall: float, lease: ContractLease, units: float) -> bool:
-        unserved = lease.draws_per_request or lease.lacks_share(lease.wanted_rate)
-        max_units = lease.contract_rate(wall) * (MAX_WAIT_MS if unserved else MAX_QUEUE_MS) / 1000.0
-        fits_queue = lease.waiting_units() + units <= max(max_units, units)
-        return fits_queue and len(lease.waiting) < MAX_WAITING and lease.fits(units)
-
     def finished_waits(self, now: float) -> list[tuple[Any, ReservedUnits | None]]:
         """The tokens of requests whose wait is over, each with the units drawn for it, or None where there
         were none in time."""
         finished: list[tuple[Any, ReservedUnits | None]] = []
         wall = now + self._wall_offset_ms
         for lease in self.leases.values():
-            while lease.waiting:
-                request = lease.waiting[0]
-                lease.fill(now, wall)
-                in_time = now <= request.deadline_ms
-                drawn = in_time and lease.draw(now, wall, request.units, request.usage)
-                if not drawn and in_time and lease.fits(request.units):
-                    break
-                lease.waiting.popleft()
+            for request, drawn in lease.finished_waits(now, wall):
                 reserved = ReservedUnits(lease.contract, request.units, lease.rank) if drawn else None
                 finished.append((request.token, reserved))
         return finished
@@ -337,9 +316,7 @@
         for lease in self.leases.values():
             if wall >= lease.from_ms:
                 lease.fill(now, wall)
-                if not lease.waiting:
-                    used = 0.0 if lease.demand.has_stopped(now) else lease.demand.rate(now)
-                    idle += max(lease.share - used, 0.0)
+                idle += lease.idle_share(now)
         return idle
 
     def held_rate(self, now: float) -> float:
@@ -351,34 +328,8 @@
 
     def status(self, now: float) -> dict[str, Any]:
         """What operators are shown: plain data, by the keys of the management interface."""
-        return {
-            name: {
-                "part": lease.share,
-                "level": lease.level,
-                "fair": lease.fair_share,
-                "asked": lease.demand.rate(now),
-                "call_ms": lease.call_ms,
-                "waiting": lease.waiting_units(),
-                "holders": lease.holders,
-                "ends_in_ms": max(lease.expires_ms - now, 0.0),
-                "drawn": lease.drawn,
-                "short": dict(lease.shortfalls),
-            }
-            for name, lease in self.leases.items()
-        }
+        return {name: lease.status(now) for name, lease in self.leases.items()}
 
 
 def _usage_lane(key: str) -> str:
     return f"{key}#"
-
-
-def _unconfirmed_cause(lease: ContractLease) -> str | None:
-    """The first cause of a shortfall that was not reported in full."""
-    return next(
-        (
-            cause
-            for cause, units in lease.shortfalls.items()
-            if units > lease.confirmed_shortfalls.get(cause, 0.0)
-        ),
-        None,
-    )
--- a/badgeryoke/cluster/reservations/lease_renewal.py
+++ b/badgeryoke/cluster/reservations/lease_renewal.py
@@ -15,6 +15,7 @@
 
 import math
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from badgeryoke.cluster.leases.fair_shares import STANDBY_FRACTION
 from badgeryoke.cluster.leases.lease import EPSILON
@@ -61,6 +62,13 @@
     min_depth: float
 
 
+class KeptBucket(NamedTuple):
+    """What a holder keeps of its bucket's depth, and the units that it gives back."""
+
+    depth: float
+    returned_units: float
+
+
 def plan_renewal(now: float, wall: float, lease: ContractLease, lease_ms: float) -> Renewal | None:
     """What to request next, and when; None where nothing is to be requested.  The bucket is filled."""
     if lease.interval_at(wall) is None:
@@ -149,7 +157,7 @@
     standby_depth: float,
     busy_fraction: float,
     min_depth: float,
-) -> tuple[float, float]:
+) -> KeptBucket:
     """The depth that is kept and the units that are given back."""
     kept_depth = 0.0
     if renewal.keeps_bucket:
@@ -166,7 +174,7 @@
         # begin with.
         kept_depth = min(kept_depth, standby_depth)
         returned_units = max(lease.level - kept_depth, 0.0)
-    return kept_depth, returned_units
+    return KeptBucket(kept_depth, returned_units)
 
 
 def _next_pause_ms(lease: ContractLease, renewal: Renewal) -> float:
--- a/badgeryoke/cluster/reservations/priority_shedding.py
+++ b/badgeryoke/cluster/reservations/priority_shedding.py
@@ -67,6 +67,7 @@
     filled_ms: float = 0.0  # up to when it was filled
 
     def fill(self, now: float) -> None:
+        """Bring the level up to now."""
         gained = self.rate * (now - self.filled_ms) / 1000.0
         self.level = min(self.level + gained, max(self.rate * MAX_BURST_MS / 1000.0, MIN_BURST))
         self.filled_ms = now
--- a/badgeryoke/cluster/reservations/terms.py
+++ b/badgeryoke/cluster/reservations/terms.py
@@ -95,9 +95,9 @@
 def expand_windows(windows: Iterable[Window]) -> list[Interval]:
     """All intervals in which windows hold, in order of their start."""
     return sorted(
-        Interval(window.from_ms + turn * window.every_ms, window.to_ms + turn * window.every_ms)
+        Interval(window.from_ms + number * window.every_ms, window.to_ms + number * window.every_ms)
         for window in windows
-        for turn in range(window.repetitions)
+        for number in range(window.repetitions)
     )
 
 
