--- a/badgeryoke/cluster/connection_limits/commands.py
+++ b/badgeryoke/cluster/connection_limits/commands.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from enum import IntEnum, StrEnum
+from typing import NamedTuple
 
 import msgspec
 
@@ -114,8 +115,8 @@
         return ""
 
 
-class LeaseReference(msgspec.Struct, frozen=True, array_like=True):
-    """One lease of a known holder."""
+class LeaseReference(NamedTuple):
+    """One lease of a known holder.  A NamedTuple, since it is decoded from an array of just this length."""
 
     server: str
     lease_number: int
--- a/tests/cluster/test_connection_limits.py
+++ b/tests/cluster/test_connection_limits.py
@@ -25,6 +25,7 @@
 from badgeryoke.cluster.connection_limits.server_connections import MIN_REQUEST_INTERVAL_MS
 from badgeryoke.cluster.errors import InvalidCall
 from badgeryoke.cluster.invariants import Invariants, Rule
+from badgeryoke.cluster.state_machine.machine import command_from
 from badgeryoke.cluster.state_machine.part import Command
 from tests.support.cluster_runs import CLOCK_DRIFT, TIMINGS, first_broken_rule, run_state_machine
 from tests.support.connection_simulation import IDLE_TIMEOUT_MS, LIMITS, ConnectionSimulation
@@ -223,6 +224,14 @@
     assert [release_first(limits, SECOND).value for _ in range(2)] == [{"ended": 1}, {"ended": 0}]
 
 
+@pytest.mark.parametrize(
+    "lease", [pytest.param(["a"], id="too short"), pytest.param(["a", 1, 2], id="too long")]
+)
+def test_a_released_lease_is_a_server_and_a_number_and_nothing_else(lease: list[Any]) -> None:
+    fields = {"id": "e", "holder": FIRST, "bucket": server_bucket("a"), "ends": [lease], "proof": "idle"}
+    assert isinstance(command_from("ConnEnd", fields), InvalidCall)
+
+
 def test_a_lowered_limit_takes_nothing_away_and_grants_nothing_until_enough_is_returned() -> None:
     limits = limits_of_one_server(5)
     request(limits, FIRST, 0, 0, 4)
