--- a/tests/support/transport.py
+++ b/tests/support/transport.py
@@ -92,9 +92,11 @@
         there.transport.close()
 
 
-def run_with_timeout(test: Callable[[], Coroutine[object, object, None]]) -> None:
+def run_with_timeout(
+    test: Callable[[], Coroutine[object, object, None]], timeout_s: float = TEST_TIMEOUT_S
+) -> None:
     """Run a test that may wait for what never comes."""
-    asyncio.run(asyncio.wait_for(test(), TEST_TIMEOUT_S))
+    asyncio.run(asyncio.wait_for(test(), timeout_s))
 
 
 class UnresponsivePeer:
