--- a/badgeryoke/gateway/cluster/running_member.py
+++ b/badgeryoke/gateway/cluster/running_member.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 import secrets
 import socket
-from asyncio import get_running_loop
 from collections.abc import Callable
 from random import Random
 from typing import Protocol, runtime_checkable
@@ -62,7 +62,7 @@
     ) -> None:
         self._setup, self._storage, self._clock, self._calls = setup, storage, clock, calls
         self._on_failure, self._on_storage_failure = on_failure, on_storage_failure
-        self._loop = get_running_loop()
+        self._loop = asyncio.get_running_loop()
         self._driver: NodeDriver | None = None
         self.transport = ClusterTransport(
             setup.fleet,
