Name the decision interface, settings parser and simulator adapter by the field's terms

Cause: interface.py checked its settings through lists of attribute names as strings, the parser and the adapter passed untyped values about, and their comments and names were in the project's own wording.

Change: checks take the typed values by keyword, in the same order and with the same messages; fields have comments with their units. The parser's reader and the adapter's fields are typed throughout (no Any); limits are constants of their own; serving a batch, reading a table and expecting a line are three small steps. Keys, words and messages on the wires are unchanged.

--- a/badgeryoke/decisions/interface.py
+++ b/badgeryoke/decisions/interface.py
@@ -1,7 +1,7 @@
-"""What the decision module takes in and gives out: settings, events and actions.
+"""The types of the decision engine: its settings, the events it handles and the actions it returns.
 
-Everything is plain data in the field's own words, so a host can embed the module whatever its wire looks
-like.  Times are milliseconds on the host's clock; ids are opaque and go back as they came.
+All are plain data, so that a host can embed the engine whatever its wire protocol is.  Times are
+milliseconds on the host's clock; ids are opaque to the engine and are returned unchanged.
 """
 
 from __future__ import annotations
@@ -13,7 +13,7 @@
 
 
 class Idempotency(Enum):
-    """What a repeat of a request may do."""
+    """Whether a request may be executed twice."""
 
     IDEMPOTENT = "safe"
     WITH_KEY = "keyed"
@@ -21,7 +21,7 @@
 
 
 class DeduplicationScope(Enum):
-    """Which servers drop a repeat of a keyed request."""
+    """Which servers recognize the second attempt of a request with an idempotency key."""
 
     ALL = "all"
     ZONE = "zone"
@@ -29,7 +29,7 @@
 
 
 class Verdict(Enum):
-    """How an attempt, a probe or a counter call ended."""
+    """How an attempt, a health check or a counter call ended."""
 
     OK = "ok"
     ERROR = "error"
@@ -42,12 +42,12 @@
 
     @property
     def never_ran(self) -> bool:
-        """True where the outcome proves that the attempt had no effect."""
+        """Whether the outcome proves that the attempt was not executed."""
         return self in (Verdict.QUEUE_FULL, Verdict.CONNECT_FAILED, Verdict.NOT_SENT)
 
 
 class EndpointState(Enum):
-    """What discovery says of a server."""
+    """The state of a server in the endpoint list."""
 
     UP = "up"
     DRAINING = "draining"
@@ -55,7 +55,7 @@
 
 
 class ListScope(Enum):
-    """What a member list covers."""
+    """What an endpoint list covers."""
 
     CHANGES = "changes"
     FULL = "full"
@@ -63,14 +63,16 @@
     LOST = "lost"
 
 
-def _at_least(key: str, value: float, least: float) -> None:
-    if not value >= least:
-        raise ValueError(f"setting {key}: expected at least {least:g}, got {value!r}")
+def _require_at_least(least: float, path: str = "", **values: float) -> None:
+    """Raise a ValueError that names the first setting that is too small or not a number."""
+    for key, value in values.items():
+        if not value >= least:
+            raise ValueError(f"setting {path}{key}: expected at least {least:g}, got {value!r}")
 
 
 @dataclass(frozen=True, slots=True)
 class RequestClass:
-    """A class of requests: when an answer counts, and what a repeat may do."""
+    """A class of requests: its latency objective, its value and its idempotency."""
 
     name: str
     latency_objective_ms: float
@@ -82,14 +84,15 @@
     late_value_fraction: float = 0.0
 
     def __post_init__(self) -> None:
-        for key in (
-            "latency_objective_ms",
-            "deadline_ms",
-            "deduplication_window_ms",
-            "priority_weight",
-            "late_value_fraction",
-        ):
-            _at_least(f"classes.{self.name}.{key}", getattr(self, key), 0.0)
+        _require_at_least(
+            0.0,
+            f"classes.{self.name}.",
+            latency_objective_ms=self.latency_objective_ms,
+            deadline_ms=self.deadline_ms,
+            deduplication_window_ms=self.deduplication_window_ms,
+            priority_weight=self.priority_weight,
+            late_value_fraction=self.late_value_fraction,
+        )
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,87 +100,88 @@
     """A plan's quota and ceiling, for each customer over all gateways together."""
 
     name: str
-    rate: float = 0.0
-    burst: float = 0.0
-    concurrency_limit: int = 0
-    price: float = 1.0
-    over_quota_value: float = 0.0
-    over_quota_cost: float = 0.0
-    ceiling_rate: float = 0.0
-    ceiling_burst: float = 0.0
-    ceiling_slack: float = 0.0
+    rate: float = 0.0  # units per second; 0: no quota
+    burst: float = 0.0  # units
+    concurrency_limit: int = 0  # requests in flight; 0: no limit
+    price: float = 1.0  # value of a unit within the quota
+    over_quota_value: float = 0.0  # of a unit beyond the quota, in parts of the price
+    over_quota_cost: float = 0.0  # likewise
+    ceiling_rate: float = 0.0  # units per second that are never exceeded; 0: no ceiling
+    ceiling_burst: float = 0.0  # units
+    ceiling_slack: float = 0.0  # units by which the ceiling may be exceeded
 
     def __post_init__(self) -> None:
-        for key in (
-            "rate",
-            "burst",
-            "concurrency_limit",
-            "price",
-            "over_quota_value",
-            "over_quota_cost",
-            "ceiling_rate",
-            "ceiling_burst",
-            "ceiling_slack",
-        ):
-            _at_least(f"plans.{self.name}.{key}", getattr(self, key), 0.0)
+        _require_at_least(
+            0.0,
+            f"plans.{self.name}.",
+            rate=self.rate,
+            burst=self.burst,
+            concurrency_limit=self.concurrency_limit,
+            price=self.price,
+            over_quota_value=self.over_quota_value,
+            over_quota_cost=self.over_quota_cost,
+            ceiling_rate=self.ceiling_rate,
+            ceiling_burst=self.ceiling_burst,
+            ceiling_slack=self.ceiling_slack,
+        )
         if self.rate > 0 and not self.burst > 0:
             raise ValueError(f"setting plans.{self.name}.burst: expected above 0 where there is a rate")
 
 
 @dataclass(frozen=True, slots=True)
 class Settings:
-    """What a gateway is told at its start; see the protocol page for the meaning of each figure."""
+    """The settings of one gateway."""
 
-    gateway_index: int
+    gateway_index: int  # from 0
     gateway_count: int
     zone: str
-    tick_ms: float
+    tick_ms: float  # the resolution of the host's timers
     classes: tuple[RequestClass, ...]
     plans: tuple[Plan, ...]
     has_counter: bool = False
     counter_timeout_ms: float = 0.0
     max_request_units: float = 1.0
-    max_attempts: int = 1
-    can_cancel: bool = False
+    max_attempts: int = 1  # of one request
+    can_cancel: bool = False  # an attempt in flight
     max_retry_after_ms: float = 0.0
-    must_subscribe: bool = False
-    poll_within_ms: float = 0.0
-    response_slack_ms: float = 0.0
-    slow_start_fraction: float = 1.0
-    slow_start_ms: float = 0.0
-    overload_multiple: float = 1.0
-    overload_window_ms: float = 0.0
+    must_subscribe: bool = False  # to changes of the endpoint list
+    poll_within_ms: float = 0.0  # the longest time between two polls of discovery, where it is polled
+    response_slack_ms: float = 0.0  # of a deadline, kept for the way to a server
+    slow_start_fraction: float = 1.0  # of its capacity that a server has at its start
+    slow_start_ms: float = 0.0  # until it has all of it
+    overload_multiple: float = 1.0  # a server that gets this many times its warm load ...
+    overload_window_ms: float = 0.0  # ... within this window is overloaded
 
     def __post_init__(self) -> None:
-        _at_least("gateway_count", self.gateway_count, 1)
-        _at_least("gateway_index", self.gateway_index, 0)
-        _at_least("max_attempts", self.max_attempts, 1)
-        for key in (
-            "tick_ms",
-            "counter_timeout_ms",
-            "max_request_units",
-            "max_retry_after_ms",
-            "poll_within_ms",
-            "response_slack_ms",
-            "slow_start_fraction",
-            "slow_start_ms",
-            "overload_multiple",
-            "overload_window_ms",
-        ):
-            _at_least(key, getattr(self, key), 0.0)
+        _require_at_least(1, gateway_count=self.gateway_count)
+        _require_at_least(0, gateway_index=self.gateway_index)
+        _require_at_least(1, max_attempts=self.max_attempts)
+        _require_at_least(
+            0.0,
+            tick_ms=self.tick_ms,
+            counter_timeout_ms=self.counter_timeout_ms,
+            max_request_units=self.max_request_units,
+            max_retry_after_ms=self.max_retry_after_ms,
+            poll_within_ms=self.poll_within_ms,
+            response_slack_ms=self.response_slack_ms,
+            slow_start_fraction=self.slow_start_fraction,
+            slow_start_ms=self.slow_start_ms,
+            overload_multiple=self.overload_multiple,
+            overload_window_ms=self.overload_window_ms,
+        )
 
 
 @dataclass(frozen=True, slots=True)
 class Server:
-    """One line of a member list; started_ms is 0 where the start lies long ago."""
+    """One entry of an endpoint list."""
 
     id: int
     zone: str
     kind: str
     cell: int
     state: EndpointState
-    size: float = 1.0
-    started_ms: float = 0.0
+    size: float = 1.0  # relative capacity
+    started_ms: float = 0.0  # 0: long ago
 
 
 # Events -----------------------------------------------------------------------------------------------
@@ -185,7 +189,7 @@
 
 @dataclass(frozen=True, slots=True)
 class EndpointList:
-    """A member list, whole or as changes to the last one."""
+    """An endpoint list, complete or as changes to the last one."""
 
     scope: ListScope
     servers: tuple[Server, ...] = ()
@@ -193,52 +197,51 @@
 
 @dataclass(frozen=True, slots=True)
 class Request:
-    """A client's try has arrived; it is owed exactly one final answer."""
+    """A client's request has arrived; it gets exactly one final answer."""
 
     id: str
     request_class: str
     plan: str
     customer: int
-    remaining_ms: float
-    units: float
-    gateway_set_size: int
-    first_gateway: int = 0
-    retry: bool = False
-    # drawn under a lease: the class of importance of its contract, from 1, which goes last; 0: not
-    reservation_rank: int = 0
+    remaining_ms: float  # until the client's deadline
+    units: float  # estimated
+    gateway_set_size: int  # how many gateways serve the customer, ...
+    first_gateway: int = 0  # ... from this index on
+    retry: bool = False  # by the client
+    reservation_rank: int = 0  # priority under a capacity reservation, 1 is shed last; 0: not reserved
 
 
 @dataclass(frozen=True, slots=True)
 class ResponseStarted:
-    """The answer of a streamed class has begun; the attempt is the client's now."""
+    """A streamed response has begun; its rest goes straight to the client."""
 
     id: str
 
 
 @dataclass(frozen=True, slots=True)
 class AttemptOutcome:
-    """How one attempt ended; ended says that the request has its final answer."""
+    """How one attempt ended."""
 
     id: str
     attempt: int
     server: int
     verdict: Verdict
     rtt_ms: float
-    ended: bool
-    true_units: float = 0.0
-    report: tuple[float, ...] = ()
+    ended: bool  # the request has its final answer
+    true_units: float = 0.0  # measured; 0: unknown
+    report: tuple[float, ...] = ()  # the server's load report
 
 
 @dataclass(frozen=True, slots=True)
 class ClientDisconnected:
-    """The client has gone; nothing more is owed."""
+    """The client has disconnected; it gets no answer."""
 
     id: str
 
 
 @dataclass(frozen=True, slots=True)
 class CounterReply:
-    """The counter's answer to one Count."""
+    """The counter service's reply to one AddToCounter."""
 
     name: int
     verdict: Verdict
@@ -248,17 +251,17 @@
 
 @dataclass(frozen=True, slots=True)
 class HealthCheckResult:
-    """The answer to one Probe."""
+    """The result of one CheckHealth."""
 
     server: int
     verdict: Verdict
     rtt_ms: float
-    report: tuple[float, ...] = ()
+    report: tuple[float, ...] = ()  # the server's load report
 
 
 @dataclass(frozen=True, slots=True)
 class TimerFired:
-    """A Wake has come due."""
+    """The timer of one SetTimer has expired."""
 
     token: int
 
@@ -279,7 +282,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SendAttempt:
-    """Start an attempt of a request at a server; attempts are numbered 0, 1, 2 ... as sent."""
+    """Start an attempt of a request at a server; attempts are numbered from 0 as sent."""
 
     id: str
     server: int
@@ -288,7 +291,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CancelAttempt:
-    """Stop waiting for an attempt."""
+    """Cancel an attempt in flight."""
 
     id: str
     attempt: int
@@ -296,23 +299,23 @@
 
 @dataclass(frozen=True, slots=True)
 class Reject:
-    """Final answer: turned away, and a retry does no harm."""
+    """Final answer: rejected, and a retry does no harm."""
 
     id: str
     retry_after_ms: float = 0.0
-    cause: str = ""  # of one that was drawn under a lease
+    cause: str = ""  # of the rejection of a reserved request
 
 
 @dataclass(frozen=True, slots=True)
 class Fail:
-    """Final answer: failed, with no promise of what happened."""
+    """Final answer: failed; the request may have been executed."""
 
     id: str
 
 
 @dataclass(frozen=True, slots=True)
 class AddToCounter:
-    """Add units to a named number of the counter service and learn the total."""
+    """Add units to a named total at the counter service and read the total."""
 
     name: int
     units: float
@@ -321,14 +324,14 @@
 
 @dataclass(frozen=True, slots=True)
 class CheckHealth:
-    """Look at a server."""
+    """Send a health check to a server."""
 
     server: int
 
 
 @dataclass(frozen=True, slots=True)
 class SetTimer:
-    """Ask for a Due event at a time."""
+    """Request a TimerFired event at a time."""
 
     at_ms: float
     token: int
@@ -336,12 +339,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Subscribe:
-    """Ask discovery for changes from now on."""
+    """Subscribe to watch events of the endpoint list."""
 
 
 @dataclass(frozen=True, slots=True)
 class Log:
-    """A line for the operators."""
+    """A log line for the operators."""
 
     text: str
 
--- a/badgeryoke/decisions/settings_parser.py
+++ b/badgeryoke/decisions/settings_parser.py
@@ -1,31 +1,37 @@
-"""The settings a gateway is told, as nested JSON, turned into the module's own: the same on every wire.
+"""Parses the platform's settings, nested JSON that is the same on every wire, into the engine's `Settings`.
 
-What the module goes by has to be there, of the right form and in its range; a fault names its key in full.  A
-figure may be left out only where that says that there is no such thing: a ceiling, worth after the aim.  A
-key that the page of the wire does not name is no fault, but is told.
+Every setting that the engine uses must be present, of the right type and in its range; an error names its
+full key.  A number may be absent only where that means that the feature does not exist: a ceiling, or value
+after the objective.  An unknown key is no error, but is reported.
 """
 
 from __future__ import annotations
 
-from typing import Any, TypeVar
+from collections.abc import Mapping
+from typing import TypeVar
 
 from badgeryoke.decisions import interface as api
 
+K = TypeVar("K")
 T = TypeVar("T")
-EFFECTS = {
+IDEMPOTENCIES = {
     "idempotent": api.Idempotency.IDEMPOTENT,
     "deduplicated": api.Idempotency.WITH_KEY,
     "at_most_once": api.Idempotency.NOT_IDEMPOTENT,
 }
-GROUPS = {group.value: group for group in api.DeduplicationScope}
-SUBSCRIBED = {"automatic": False, "subscribe": True}
+DEDUPLICATION_SCOPES = {group.value: group for group in api.DeduplicationScope}
+MUST_SUBSCRIBE = {"automatic": False, "subscribe": True}
 FLAGS = {True: True, False: False}  # 1 and 0 as well
-# Beyond these is a slip of the pen: sums would lose digits, and no query could be asked
-# (resp/client_link.py).
-MOST, MOST_MS, MOST_UNITS, MOST_GATEWAYS, MOST_ATTEMPTS = 1e12, 1e7, 1e6, 1e6, 1e3
-MOST_SHOWN, MOST_NAME = 64, 256  # characters of a faulty value in its message; of a name
-# Every key that the page of the wire names, also those that this program has no use for.
-KEYS = {
+# Larger numbers are mistakes: sums would lose digits, and no request could name such a class or plan.
+MAX_NUMBER = 1e12
+MAX_DURATION_MS = 1e7
+MAX_UNITS = 1e6
+MAX_GATEWAYS = 1e6
+MAX_ATTEMPTS = 1e3
+MAX_NAME_CHARACTERS = 256
+MAX_SHOWN_CHARACTERS = 64  # of a wrong value, in the error about it
+# By section, every key that the platform documents, also those that the engine does not use.
+KNOWN_KEYS = {
     "": "charges classes clients contracts discovery family_info feedback goal instances kind_of_service kinds me "
     "policy_limits rules tick_ms tier tiers weight_kind zone zones",
     "charges": "connection cross_zone discovery fleet handshake late_fail moves origin peer probe waste",
@@ -41,151 +47,168 @@
 }
 
 
-def unknown(raw: dict[str, Any]) -> list[str]:
-    """The keys that no page names: mistyped, or of a newer platform."""
+def unknown_keys(settings: Mapping[str, object]) -> list[str]:
+    """The keys that are not documented: mistyped, or of a newer platform."""
     found: dict[str, None] = {}
-    for section, words in KEYS.items():
-        value, path = (raw.get(section), f"{section}.") if section else (raw, "")
+    for section, known in KNOWN_KEYS.items():
+        value, path = (settings.get(section), f"{section}.") if section else (settings, "")
         for entry in value if isinstance(value, list) else [value]:
             for key in entry if isinstance(entry, dict) else ():
-                if key not in words.split():
+                if key not in known.split():
                     found[path + key] = None
     return list(found)
 
 
-class Reader:
-    """One object of the settings; what it reads raises ValueError with the key."""
+class SettingsReader:
+    """One object of the settings.  Its methods raise a ValueError that names the key."""
 
-    def __init__(self, raw: Any, path: str = "") -> None:
-        self._raw, self._path = raw, path
-        if not isinstance(raw, dict):
-            raise ValueError(f"setting {path}: expected an object, got {_shown(raw)}")
+    def __init__(self, values: object, path: str = "") -> None:
+        if not isinstance(values, dict):
+            raise ValueError(f"setting {path}: expected an object, got {_abbreviated(values)}")
+        self._values: dict[str, object] = values
+        self._path = path
 
-    def value(self, key: str) -> Any:
-        """A value of any form."""
-        if key not in self._raw:
-            raise ValueError(f"setting {self._name(key)}: missing")
-        return self._raw[key]
+    def has(self, key: str) -> bool:
+        """Whether the key is present."""
+        return key in self._values
 
-    def figure(self, key: str, least: float = 0.0, most: float = MOST, default: float | None = None) -> float:
-        """A number in its range: neither a truth value, nor a text, nor none."""
-        value = self.value(key) if default is None else self._raw.get(key, default)
+    def raw_value(self, key: str) -> object:
+        """A value of any type."""
+        if key not in self._values:
+            raise ValueError(f"setting {self._full_key(key)}: missing")
+        return self._values[key]
+
+    def number(
+        self, key: str, least: float = 0.0, most: float = MAX_NUMBER, default: float | None = None
+    ) -> float:
+        """A number in its range: no boolean, text or null.  The default stands for an absent key."""
+        value = self.raw_value(key) if default is None else self._values.get(key, default)
         if isinstance(value, bool) or not isinstance(value, int | float) or not least <= value <= most:
-            raise self._fault(key, f"a number from {least:g} to {most:g}", value)
+            raise self._error(key, f"a number from {least:g} to {most:g}", value)
         return float(value)
 
-    def above_0(self, key: str, most: float = MOST) -> float:
+    def positive_number(self, key: str, most: float = MAX_NUMBER) -> float:
         """A number above 0."""
-        if not (figure := self.figure(key, 0.0, most)) > 0:
-            raise self._fault(key, "a number above 0", figure)
-        return figure
-
-    def whole(self, key: str, least: float, most: float) -> int:
-        """A whole number."""
-        if (figure := self.figure(key, least, most)) != int(figure):
-            raise self._fault(key, "a whole number", figure)
-        return int(figure)
-
-    def word(self, key: str, words: dict[Any, T]) -> T:
-        """One of a few words, as what it stands for."""
-        value = self.value(key)
-        if isinstance(value, list | dict) or value not in words:
-            raise self._fault(key, f"one of {', '.join(map(str, words))}", value)
-        return words[value]
+        if not (value := self.number(key, 0.0, most)) > 0:
+            raise self._error(key, "a number above 0", value)
+        return value
+
+    def integer(self, key: str, least: float, most: float) -> int:
+        """An integer in its range, which may be written with a fraction of 0."""
+        if (value := self.number(key, least, most)) != int(value):
+            raise self._error(key, "a whole number", value)
+        return int(value)
+
+    def choice(self, key: str, choices: Mapping[K, T]) -> T:
+        """One of a few values, as what it stands for."""
+        value = self.raw_value(key)
+        if not isinstance(value, list | dict):
+            for choice, meaning in choices.items():
+                if choice == value:
+                    return meaning
+        raise self._error(key, f"one of {', '.join(map(str, choices))}", value)
 
     def text(self, key: str) -> str:
-        """A text."""
-        value = self.value(key)
-        if not isinstance(value, str) or len(value) > MOST_NAME:
-            raise self._fault(key, f"a text of {MOST_NAME} characters at most", value)
+        """A text of limited length."""
+        value = self.raw_value(key)
+        if not isinstance(value, str) or len(value) > MAX_NAME_CHARACTERS:
+            raise self._error(key, f"a text of {MAX_NAME_CHARACTERS} characters at most", value)
         return value
 
-    def table(self, key: str) -> Reader:
-        """An object."""
-        return Reader(self.value(key), self._name(key))
+    def section(self, key: str) -> SettingsReader:
+        """A nested object."""
+        return SettingsReader(self.raw_value(key), self._full_key(key))
 
-    def named(self, key: str, least: int = 1) -> list[Reader]:
-        """A list of objects, each with a name of its own."""
-        value = self.value(key)
+    def named_entries(self, key: str, least: int = 1) -> list[SettingsReader]:
+        """A list of objects with unique names."""
+        value = self.raw_value(key)
         if not isinstance(value, list) or len(value) < least:
-            raise self._fault(key, f"a list with {least} entries at least", value)
-        entries = [Reader(entry, f"{self._name(key)}[{place}]") for place, entry in enumerate(value)]
+            raise self._error(key, f"a list with {least} entries at least", value)
+        entries = [
+            SettingsReader(entry, f"{self._full_key(key)}[{index}]") for index, entry in enumerate(value)
+        ]
         seen: set[str] = set()
         for entry in entries:
             if not (name := entry.text("name")) or name in seen:
-                raise entry._fault("name", "a name that no other has", name)
+                raise entry._error("name", "a name that no other has", name)
             seen.add(name)
         return entries
 
-    def _name(self, key: str) -> str:
+    def _full_key(self, key: str) -> str:
         return f"{self._path}.{key}" if self._path else key
 
-    def _fault(self, key: str, wanted: str, value: Any) -> ValueError:
-        return ValueError(f"setting {self._name(key)}: expected {wanted}, got {_shown(value)}")
+    def _error(self, key: str, expected: str, value: object) -> ValueError:
+        return ValueError(f"setting {self._full_key(key)}: expected {expected}, got {_abbreviated(value)}")
 
 
-def _shown(value: Any) -> str:
-    return repr(value)[:MOST_SHOWN]
+def _abbreviated(value: object) -> str:
+    return repr(value)[:MAX_SHOWN_CHARACTERS]
 
 
-def _class(entry: Reader) -> api.RequestClass:
-    effect = entry.word("idempotency", EFFECTS)
-    keyed = effect is api.Idempotency.WITH_KEY
+def _read_class(entry: SettingsReader) -> api.RequestClass:
+    idempotency = entry.choice("idempotency", IDEMPOTENCIES)
+    has_key = idempotency is api.Idempotency.WITH_KEY
     return api.RequestClass(
         name=entry.text("name"),
-        latency_objective_ms=entry.above_0("slo_ms", MOST_MS),
-        deadline_ms=entry.above_0("deadline_ms", MOST_MS),
-        idempotency=effect,
-        deduplication_scope=entry.word("group", GROUPS) if keyed else api.DeduplicationScope.ALL,
-        deduplication_window_ms=entry.figure("window_ms", default=None if keyed else 0.0),
-        priority_weight=entry.figure("worth"),
-        late_value_fraction=entry.figure("late_share", default=0.0),
+        latency_objective_ms=entry.positive_number("slo_ms", MAX_DURATION_MS),
+        deadline_ms=entry.positive_number("deadline_ms", MAX_DURATION_MS),
+        idempotency=idempotency,
+        deduplication_scope=entry.choice("group", DEDUPLICATION_SCOPES)
+        if keyed
+        else api.DeduplicationScope.ALL,
+        deduplication_window_ms=entry.number("window_ms", default=None if has_key else 0.0),
+        priority_weight=entry.number("worth"),
+        late_value_fraction=entry.number("late_share", default=0.0),
     )
 
 
-def _plan(entry: Reader) -> api.Plan:
-    rate, ceiling_rate = entry.figure("units_per_s"), entry.figure("hard_rate", default=0.0)
+def _read_plan(entry: SettingsReader) -> api.Plan:
+    rate, ceiling_rate = entry.number("units_per_s"), entry.number("hard_rate", default=0.0)
     return api.Plan(
         name=entry.text("name"),
         rate=rate,
-        burst=entry.above_0("most_at_once") if rate else entry.figure("most_at_once"),
-        concurrency_limit=entry.whole("open", 0, MOST_UNITS),
-        price=entry.figure("worth_factor"),
-        over_quota_value=entry.figure("over_worth"),
-        over_quota_cost=entry.figure("beyond_costs"),
+        burst=entry.positive_number("most_at_once") if rate else entry.number("most_at_once"),
+        concurrency_limit=entry.integer("open", 0, MAX_UNITS),
+        price=entry.number("worth_factor"),
+        over_quota_value=entry.number("over_worth"),
+        over_quota_cost=entry.number("beyond_costs"),
         ceiling_rate=ceiling_rate,
-        ceiling_burst=entry.above_0("cap_depth") if ceiling_rate else entry.figure("cap_depth", default=0.0),
-        ceiling_slack=entry.figure("tolerance", default=0.0),
+        ceiling_burst=entry.positive_number("cap_depth")
+        if ceiling_rate
+        else entry.number("cap_depth", default=0.0),
+        ceiling_slack=entry.number("tolerance", default=0.0),
     )
 
 
-def settings_from(raw: dict[str, Any]) -> api.Settings:
-    """Turn the nested settings into the module's; raises ValueError naming the key."""
-    top = Reader(raw, "")
-    limits, rules, family = top.table("policy_limits"), top.table("rules"), top.table("family_info")
-    gateways = top.whole("instances", 1, MOST_GATEWAYS)
-    has_counter = family.word("has_counter", FLAGS)
-    must_subscribe = top.word("discovery", SUBSCRIBED)
+def parse_settings(settings: Mapping[str, object]) -> api.Settings:
+    """The engine's settings; raises a ValueError that names the key."""
+    top = SettingsReader(settings)
+    limits, rules, family = top.section("policy_limits"), top.section("rules"), top.section("family_info")
+    gateways = top.integer("instances", 1, MAX_GATEWAYS)
+    has_counter = family.choice("has_counter", FLAGS)
+    must_subscribe = top.choice("discovery", MUST_SUBSCRIBE)
     return api.Settings(
-        gateway_index=top.whole("me", 0, gateways - 1),
+        gateway_index=top.integer("me", 0, gateways - 1),
         gateway_count=gateways,
-        zone=top.text("zone") if "zone" in raw or raw.get("zones") else "",  # a site may have none
-        tick_ms=top.above_0("tick_ms", MOST_MS),
-        classes=tuple(map(_class, top.named("classes"))),
+        zone=top.text("zone") if top.has("zone") or settings.get("zones") else "",  # a site may have none
+        tick_ms=top.positive_number("tick_ms", MAX_DURATION_MS),
+        classes=tuple(map(_read_class, top.named_entries("classes"))),
         plans=tuple(
-            map(_plan, top.named("contracts", least=0))
+            map(_read_plan, top.named_entries("contracts", least=0))
         ),  # none: a gateway that only keeps a share in a fleet
         has_counter=has_counter,
-        counter_timeout_ms=family.above_0("counter_timeout_ms", MOST_MS) if has_counter else 0.0,
-        max_request_units=family.above_0("max_units", MOST_UNITS),
-        max_attempts=limits.whole("try_limit", 1, MOST_ATTEMPTS),
-        can_cancel=limits.word("cancelling", FLAGS),
-        max_retry_after_ms=limits.figure("max_retry_after_ms"),
+        counter_timeout_ms=family.positive_number("counter_timeout_ms", MAX_DURATION_MS)
+        if has_counter
+        else 0.0,
+        max_request_units=family.positive_number("max_units", MAX_UNITS),
+        max_attempts=limits.integer("try_limit", 1, MAX_ATTEMPTS),
+        can_cancel=limits.choice("cancelling", FLAGS),
+        max_retry_after_ms=limits.number("max_retry_after_ms"),
         must_subscribe=must_subscribe,
-        poll_within_ms=rules.figure("ask_every_ms", default=None if must_subscribe else 0.0),
-        response_slack_ms=rules.figure("answer_slack_ms"),
-        slow_start_fraction=rules.figure("cold_from", 0.0, 1.0),
-        slow_start_ms=rules.figure("warm_within_ms"),
-        overload_multiple=rules.above_0("fall_multiple"),
-        overload_window_ms=rules.above_0("overload_for_ms"),
+        poll_within_ms=rules.number("ask_every_ms", default=None if must_subscribe else 0.0),
+        response_slack_ms=rules.number("answer_slack_ms"),
+        slow_start_fraction=rules.number("cold_from", 0.0, 1.0),
+        slow_start_ms=rules.number("warm_within_ms"),
+        overload_multiple=rules.positive_number("fall_multiple"),
+        overload_window_ms=rules.positive_number("overload_for_ms"),
     )
--- a/badgeryoke/decisions/simulator_adapter.py
+++ b/badgeryoke/decisions/simulator_adapter.py
@@ -1,19 +1,20 @@
-"""Hosts gateway instances on the text wire: reads batches from stdin, writes one reply to each.
+"""Serves the simulator's text protocol: reads batches of events from stdin, writes one reply to each.
 
-Only translation happens here.  Instances share nothing; a malformed line ends the process with one plain
-message on stderr, and an exception in the module is declared with DIE.
+It only translates.  A process hosts many gateways ("doors"), each a decision engine of its own.  A malformed
+line ends the process with one message on stderr; an exception in an engine is reported with DIE.
 """
 
 from __future__ import annotations
 
 import json
+import math
 import sys
-from collections.abc import Callable, Iterator
-from typing import Any, NoReturn, TextIO
+from collections.abc import Callable, Iterator, Mapping
+from typing import NoReturn, TextIO, TypeVar
 
 from badgeryoke.decisions import interface as api
 from badgeryoke.decisions.policy.engine import DecisionEngine
-from badgeryoke.decisions.settings_parser import settings_from
+from badgeryoke.decisions.settings_parser import parse_settings
 
 VERDICTS = {
     "Ok": api.Verdict.OK,
@@ -25,22 +26,23 @@
     "Canceled": api.Verdict.CANCELLED,
     "Ignored": api.Verdict.NOT_SENT,
 }
-STATES = {"U": api.EndpointState.UP, "L": api.EndpointState.DRAINING, "D": api.EndpointState.GONE}
-SCOPES = {
+ENDPOINT_STATES = {"U": api.EndpointState.UP, "L": api.EndpointState.DRAINING, "D": api.EndpointState.GONE}
+LIST_SCOPES = {
     "incr": api.ListScope.CHANGES,
     "total": api.ListScope.FULL,
     "warm_copy": api.ListScope.CACHED,
     "lost": api.ListScope.LOST,
 }
-LAST_FIELDS = ("params", "text")
+REST_OF_LINE_FIELDS = ("params", "text")  # their values may hold blanks: they come last
+T = TypeVar("T")
 
 
 class WireError(Exception):
-    """A line of the wire that cannot be read: says which field and what was expected."""
+    """A malformed line: names the field and what was expected."""
 
 
-class Fields:
-    """The name=value pairs of one line, read with their forms checked."""
+class WireFields:
+    """The name=value pairs of one line; the methods check their types."""
 
     def __init__(self, pairs: dict[str, str]) -> None:
         self._pairs = pairs
@@ -52,23 +54,23 @@
             raise WireError(f"field {name}: missing, expected a value")
         return value
 
-    def _as(self, name: str, form: Callable[[str], Any], expected: str, default: str | None) -> Any:
+    def _parsed(self, name: str, parse: Callable[[str], T], expected: str, default: str | None) -> T:
         value = self.text(name, default)
         try:
-            return form(value)
+            return parse(value)
         except ValueError:
             raise WireError(f"field {name}: expected {expected}, got {value!r}") from None
 
     def number(self, name: str, default: str | None = None) -> float:
         """A finite number with an optional fraction."""
-        value = float(self._as(name, float, "a number", default))
-        if value != value or value in (float("inf"), float("-inf")):
+        value = self._parsed(name, float, "a number", default)
+        if not math.isfinite(value):
             raise WireError(f"field {name}: expected a finite number, got {value!r}")
         return value
 
     def integer(self, name: str, default: str | None = None) -> int:
-        """A whole number."""
-        return int(self._as(name, int, "a whole number", default))
+        """An integer."""
+        return self._parsed(name, int, "a whole number", default)
 
     def flag(self, name: str) -> bool:
         """1 or 0; absent is 0."""
@@ -77,29 +79,26 @@
             raise WireError(f"field {name}: expected 1 or 0, got {value!r}")
         return value == "1"
 
-    def choice(self, name: str, table: dict[str, Any]) -> Any:
-        """One of the words in a table."""
+    def choice(self, name: str, choices: Mapping[str, T]) -> T:
+        """One of a few words, as what it stands for."""
         value = self.text(name)
-        if value not in table:
-            raise WireError(f"field {name}: expected one of {', '.join(table)}, got {value!r}")
-        return table[value]
+        if value not in choices:
+            raise WireError(f"field {name}: expected one of {', '.join(choices)}, got {value!r}")
+        return choices[value]
 
-    def row(self, name: str) -> tuple[float, ...]:
-        """Numbers set apart by commas; absent is empty."""
+    def number_list(self, name: str) -> tuple[float, ...]:
+        """Numbers separated by commas; absent is empty."""
         value = self._pairs.get(name, "")
         if value in ("", "-"):
             return ()
-        return tuple(
-            self._as(
-                name,
-                lambda text: [float(part) for part in text.split(",")],
-                "numbers set apart by commas",
-                None,
-            )
-        )
+        return self._parsed(name, _parse_numbers, "numbers set apart by commas", None)
+
 
+def _parse_numbers(text: str) -> tuple[float, ...]:
+    return tuple(float(part) for part in text.split(","))
 
-def split_line(line: str) -> tuple[str, Fields]:
+
+def split_line(line: str) -> tuple[str, WireFields]:
     """Split one line into its message name and its fields."""
     name, _, rest = line.partition(" ")
     pairs: dict[str, str] = {}
@@ -107,40 +106,40 @@
         key, found, rest = rest.partition("=")
         if not found:
             raise WireError(f"field {key}: expected name=value")
-        if key in LAST_FIELDS:
+        if key in REST_OF_LINE_FIELDS:
             pairs[key] = rest
             break
         value, _, rest = rest.partition(" ")
         pairs[key] = value
-    return name, Fields(pairs)
+    return name, WireFields(pairs)
 
 
 def read_settings(text: str) -> api.Settings:
-    """The settings in a field's JSON text; raises ValueError naming the key."""
+    """The settings in a field's JSON text; raises a ValueError that names the key."""
     try:
         raw = json.loads(text)
     except ValueError:
         raise WireError("field params: expected a JSON object") from None
     if not isinstance(raw, dict):
         raise WireError("field params: expected a JSON object")
-    return settings_from(raw)
+    return parse_settings(raw)
 
 
-def read_server(fields: Fields) -> api.Server:
+def read_server(fields: WireFields) -> api.Server:
     """One BACKEND line."""
     return api.Server(
         id=fields.integer("backend"),
         zone=fields.text("zone", ""),
         kind=fields.text("kind", ""),
         cell=fields.integer("cohort", "0"),
-        state=fields.choice("condition", STATES),
+        state=fields.choice("condition", ENDPOINT_STATES),
         size=fields.number("size", "1"),
         started_ms=fields.number("born_ms", "0"),
     )
 
 
-def read_event(name: str, fields: Fields) -> api.Event | None:
-    """One event line; None for a message this project has no use for."""
+def read_event(name: str, fields: WireFields) -> api.Event | None:
+    """The event of one line; None for a message that the engine does not use."""
     match name:
         case "QUERY":
             return api.Request(
@@ -163,7 +162,7 @@
                 rtt_ms=fields.number("rtt_ms", "0"),
                 ended=fields.flag("ended"),
                 true_units=fields.number("final_units", "0"),
-                report=fields.row("server_stats"),
+                report=fields.number_list("server_stats"),
             )
         case "TOTAL":
             return api.CounterReply(
@@ -183,7 +182,7 @@
                 server=fields.integer("backend"),
                 verdict=fields.choice("verdict", VERDICTS),
                 rtt_ms=fields.number("rtt_ms", "0"),
-                report=fields.row("server_stats"),
+                report=fields.number_list("server_stats"),
             )
         case "PEER_DATA":
             return None
@@ -191,7 +190,7 @@
 
 
 def write_action(door: str, action: api.Action) -> str:
-    """One action as a line of the wire."""
+    """The line of one action of a gateway."""
     match action:
         case api.SendAttempt(id=rid, server=server, timeout_ms=timeout_ms):
             return f"HAND_OFF door={door} rid={rid} timeout_ms={timeout_ms:.3f} backend={server}"
@@ -214,39 +213,33 @@
             return f"JOURNAL_LINE door={door} text={' '.join(text.split())}"
 
 
-class Host:
-    """The instances of one process and the numbered lists they refer to."""
+class EngineHost:
+    """The engines of one process, and the numbered endpoint lists that their events refer to."""
 
     def __init__(self) -> None:
-        self._doors: dict[str, DecisionEngine] = {}
-        self._rosters: dict[int, tuple[api.Server, ...]] = {}
+        self._engines: dict[str, DecisionEngine] = {}
+        self._endpoint_lists: dict[int, tuple[api.Server, ...]] = {}
 
-    def roster(self, number: int, servers: tuple[api.Server, ...]) -> None:
-        """Keep a numbered list until the number is used again."""
-        self._rosters[number] = servers
+    def set_endpoint_list(self, number: int, servers: tuple[api.Server, ...]) -> None:
+        """Keep an endpoint list until its number is used again."""
+        self._endpoint_lists[number] = servers
 
-    def event(self, now_ms: float, name: str, fields: Fields) -> Iterator[str]:
-        """Give one event to its instance and yield the lines of its actions."""
+    def handle_event(self, now_ms: float, name: str, fields: WireFields) -> Iterator[str]:
+        """Give one event to its engine; yields the lines of the actions."""
         door = fields.text("door")
         if name == "DETACH":
-            self._doors.pop(door, None)
+            self._engines.pop(door, None)
             return
         try:
             if name == "UP":
-                self._doors[door] = DecisionEngine(
-                    read_settings(fields.text("params")), fields.integer("init_seed")
-                )
+                settings = read_settings(fields.text("params"))
+                self._engines[door] = DecisionEngine(settings, fields.integer("init_seed"))
                 return
-            event: api.Event | None
-            if name == "UPDATE":
-                scope = fields.choice("scope", SCOPES)
-                event = api.EndpointList(scope, () if scope is api.ListScope.LOST else self._listed(fields))
-            else:
-                event = read_event(name, fields)
-            gateway = self._doors.get(door)
-            if gateway is None or event is None:
+            event = self._read_endpoint_list(fields) if name == "UPDATE" else read_event(name, fields)
+            engine = self._engines.get(door)
+            if engine is None or event is None:
                 return
-            actions = gateway.handle(now_ms, event)
+            actions = engine.handle(now_ms, event)
         except WireError:
             raise
         except Exception as error:
@@ -255,35 +248,51 @@
         for action in actions:
             yield write_action(door, action)
 
-    def _listed(self, fields: Fields) -> tuple[api.Server, ...]:
+    def _read_endpoint_list(self, fields: WireFields) -> api.EndpointList:
+        scope = fields.choice("scope", LIST_SCOPES)
+        if scope is api.ListScope.LOST:
+            return api.EndpointList(scope)
         number = fields.integer("roster_id")
-        if number not in self._rosters:
+        if number not in self._endpoint_lists:
             raise WireError(f"field roster_id: expected the number of a TABLE sent before, got {number}")
-        return self._rosters[number]
+        return api.EndpointList(scope, self._endpoint_lists[number])
 
 
-def serve(source: TextIO, sink: TextIO) -> None:
-    """Answer batches until the input ends; raises WireError with the line's number."""
-    host = Host()
-    lines = enumerate(source, 1)
-    now_ms: float | None = None
-    reply: list[str] = []
-    number = 0
+class _LineReader:
+    """The lines of the input, with the number of the last one for error messages."""
+
+    def __init__(self, source: TextIO) -> None:
+        self._lines = enumerate(source, 1)
+        self.number = 0
 
-    def take(expected: str) -> tuple[str, Fields]:
-        nonlocal number
-        number, text = next(lines, (number + 1, ""))
-        name, fields = split_line(text.rstrip("\r\n"))
-        if name != expected:
-            raise WireError(f"message {name!r}: expected {expected}")
-        return name, fields
+    def __iter__(self) -> Iterator[str]:
+        """The remaining lines, without the empty ones."""
+        for number, text in self._lines:
+            self.number = number
+            if line := text.rstrip("\r\n"):
+                yield line
 
+    def expect(self, name: str) -> WireFields:
+        """The fields of the next line, which has to be this message."""
+        self.number, text = next(self._lines, (self.number + 1, ""))
+        found, fields = split_line(text.rstrip("\r\n"))
+        if found != name:
+            raise WireError(f"message {found!r}: expected {name}")
+        return fields
+
+
+def _read_table(host: EngineHost, lines: _LineReader, fields: WireFields) -> None:
+    size, number = fields.integer("entries"), fields.integer("roster_id")
+    host.set_endpoint_list(number, tuple(read_server(lines.expect("BACKEND")) for _ in range(size)))
+
+
+def serve(source: TextIO, sink: TextIO) -> None:
+    """Answer batches until the input ends; raises a WireError with the line's number."""
+    host, lines = EngineHost(), _LineReader(source)
+    now_ms: float | None = None  # None: between two batches
+    reply: list[str] = []
     try:
-        for at, text in lines:
-            number = at
-            line = text.rstrip("\r\n")
-            if not line:
-                continue
+        for line in lines:
             name, fields = split_line(line)
             if name == "BATCH":
                 now_ms = fields.number("t_ms")
@@ -295,13 +304,11 @@
                 sink.flush()
                 reply, now_ms = [], None
             elif name == "TABLE":
-                size = fields.integer("entries")
-                table = fields.integer("roster_id")
-                host.roster(table, tuple(read_server(take("BACKEND")[1]) for _ in range(size)))
+                _read_table(host, lines, fields)
             else:
-                reply.extend(host.event(now_ms, name, fields))
+                reply.extend(host.handle_event(now_ms, name, fields))
     except WireError as error:
-        raise WireError(f"line {number}: {error}") from None
+        raise WireError(f"line {lines.number}: {error}") from None
 
 
 def main() -> NoReturn:
--- a/badgeryoke/gateway/config/platform_file.py
+++ b/badgeryoke/gateway/config/platform_file.py
@@ -15,7 +15,7 @@
 import ujson
 
 from badgeryoke.decisions.interface import Idempotency, Settings
-from badgeryoke.decisions.settings_parser import Reader, settings_from, unknown
+from badgeryoke.decisions.settings_parser import SettingsReader, parse_settings, unknown_keys
 from badgeryoke.gateway.config.operators_file import NAME, Operators, OperatorsError, read_operators
 from badgeryoke.gateway.discovery.client import EndpointSnapshot, read_endpoint_snapshot, split_address
 
@@ -125,12 +125,12 @@
     return value
 
 
-def _report_names(feedback: Reader) -> tuple[str, ...]:
+def _report_names(feedback: SettingsReader) -> tuple[str, ...]:
     """The fields of the load reports that come with answers."""
-    fields = feedback.value("fields")
+    fields = feedback.raw_value("fields")
     if not isinstance(fields, list) or not all(isinstance(name, str) for name in fields):
         raise ValueError(f"setting feedback.fields: expected a list of names, got {repr(fields)[:64]}")
-    return tuple(fields) if feedback.word("how", REPORTED) else ()
+    return tuple(fields) if feedback.choice("how", REPORTED) else ()
 
 
 def _listening(value: str | None) -> int | None:
@@ -165,15 +165,15 @@
         raise ConfigError("LB_CONFIG: not JSON") from None
     settings_raw = _table("settings", raw.get("settings"))
     try:
-        settings = settings_from(settings_raw)
-        reader = Reader(settings_raw)
-        limits_told = reader.table("policy_limits")
-        connect_ms = limits_told.figure("dial_timeout_ms", least=1.0)
-        idle_ms = limits_told.figure("conn_idle_ms", least=1.0)
-        report_names = _report_names(reader.table("feedback"))
+        settings = parse_settings(settings_raw)
+        reader = SettingsReader(settings_raw)
+        limits_told = reader.section("policy_limits")
+        connect_ms = limits_told.number("dial_timeout_ms", least=1.0)
+        idle_ms = limits_told.number("conn_idle_ms", least=1.0)
+        report_names = _report_names(reader.section("feedback"))
     except ValueError as fault:
         raise ConfigError(str(fault)) from None
-    if strange := unknown(settings_raw):
+    if strange := unknown_keys(settings_raw):
         log.warning(
             "settings unknown to this program: %s", ", ".join(key[:64] for key in strange[:MOST_TOLD])
         )
--- a/tests/decisions/test_settings_parser.py
+++ b/tests/decisions/test_settings_parser.py
@@ -18,7 +18,7 @@
 import pytest
 
 from badgeryoke.decisions import interface as api
-from badgeryoke.decisions.settings_parser import KEYS, settings_from, unknown
+from badgeryoke.decisions.settings_parser import KNOWN_KEYS, parse_settings, unknown_keys
 from badgeryoke.gateway.application import GatewayApplication
 from badgeryoke.gateway.config.platform_file import Config, ConfigError, read_config
 from tests.gateway.resp.test_client_connection import ask, play
@@ -29,7 +29,7 @@
 
 # Every key of the page, with another customer's figures; each kind of class and plan that there can be.
 FULL: dict[str, Any] = {
-    "charges": {key: 0.01 for key in KEYS["charges"].split()},
+    "charges": {key: 0.01 for key in KNOWN_KEYS["charges"].split()},
     "classes": [
         {
             "name": "tile-read",
@@ -164,7 +164,7 @@
 UNUSED = {
     f"{section}.{key}".lstrip(".")
     for section, keys in {
-        **{name: KEYS[name] for name in ("charges", "clients", "goal")},
+        **{name: KNOWN_KEYS[name] for name in ("charges", "clients", "goal")},
         "": "charges clients goal kind_of_service kinds tier tiers weight_kind zones",
         "classes": "aim_stretch stream",
         "family_info": "counter_price meter_period_ms peer_intake trued_up",
@@ -176,7 +176,7 @@
 # Absent, they say that there is no such thing: a ceiling, worth after the aim.
 MAY_LACK = {"classes.late_share", "contracts.hard_rate", "contracts.cap_depth", "contracts.tolerance"}
 USED = sorted(
-    {f"{section}.{key}".lstrip(".") for section, keys in KEYS.items() for key in keys.split()} - UNUSED
+    {f"{section}.{key}".lstrip(".") for section, keys in KNOWN_KEYS.items() for key in keys.split()} - UNUSED
 )
 TEXTS = {
     "classes.name",
@@ -326,10 +326,10 @@
 def test_a_key_that_no_page_names_is_told_and_no_fault(
     tmp_path: Path, caplog: pytest.LogCaptureFixture
 ) -> None:
-    assert unknown(FULL) == []
+    assert unknown_keys(FULL) == []
     strange = at(at(at(FULL, "clases", []), "classes.1.windows_ms", 1), "rules.fall_times", 2)
     caplog.set_level(logging.WARNING)
-    assert read(tmp_path, strange).settings == settings_from(FULL)
+    assert read(tmp_path, strange).settings == parse_settings(FULL)
     assert caplog.messages == [
         "settings unknown to this program: clases, classes.windows_ms, rules.fall_times"
     ]
--- a/tests/gateway/test_golden_settings.py
+++ b/tests/gateway/test_golden_settings.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from badgeryoke.decisions import interface as api
-from badgeryoke.decisions.settings_parser import settings_from, unknown
+from badgeryoke.decisions.settings_parser import parse_settings, unknown_keys
 from badgeryoke.gateway.config.operators_file import OperatorsError, read_operators
 from badgeryoke.gateway.config.platform_file import ConfigError, read_config, read_diameter
 from badgeryoke.gateway.discovery.client import read_endpoint_snapshot
@@ -84,12 +84,12 @@
 
 def settings_told() -> list[str]:
     """Of the settings: each key that is used, and keys that no page names."""
-    lines = [line for path in USED for line in about(placed(path), FULL, VALUES, settings_from)]
+    lines = [line for path in USED for line in about(placed(path), FULL, VALUES, parse_settings)]
     doubled = copy.deepcopy(FULL)
     doubled["classes"][1]["name"] = doubled["classes"][0]["name"]
-    lines.append(f"classes, a name twice: {outcome(lambda: settings_from(doubled))}")
+    lines.append(f"classes, a name twice: {outcome(lambda: parse_settings(doubled))}")
     strange = at(at(at(FULL, "zzz", 1), "rules.cold_form", 1), "classes.1.slo", 1)
-    return [*lines, f"unknown: {', '.join(unknown(strange))}"]
+    return [*lines, f"unknown: {', '.join(unknown_keys(strange))}"]
 
 
 def config_told(folder: Path) -> list[str]:
@@ -207,7 +207,7 @@
     """Of the operators' two files."""
     lines = []
     operators, diameter = folder / "operators.toml", folder / "diameter.toml"
-    settings: api.Settings = settings_from(FULL)
+    settings: api.Settings = parse_settings(FULL)
     for text in OPERATORS_TEXTS:
         operators.write_text(text)
         lines.append(f"{text!r}: {outcome(lambda: read_operators(operators, all_sections=True))}")
