--- a/badgeryoke/decisions/settings_parser.py
+++ b/badgeryoke/decisions/settings_parser.py
@@ -154,7 +154,7 @@
         deadline_ms=entry.positive_number("deadline_ms", MAX_DURATION_MS),
         idempotency=idempotency,
         deduplication_scope=entry.choice("group", DEDUPLICATION_SCOPES)
-        if keyed
+        if has_key
         else api.DeduplicationScope.ALL,
         deduplication_window_ms=entry.number("window_ms", default=None if has_key else 0.0),
         priority_weight=entry.number("worth"),
