--- a/tests/decisions/test_behaviour_digests.py
+++ b/tests/decisions/test_behaviour_digests.py
@@ -37,7 +37,7 @@
 from tests.support.canonical import Digest
 from tests.support.event_streams import CounterTrouble, Driver, ServerTrouble, Stream
 from tests.support.paths import ROOT
-from tests.support.policy_fleet import Fleet
+from tests.support.policy_fleet import GatewayFleet
 
 GOLDEN = ROOT / "tests" / "golden" / "digests" / "decisions.json"
 LONGEST_MS = 30_000.0  # of a scenario is played, ...
@@ -401,16 +401,16 @@
         api.Server(number, "ab"[number % 2], "std", 0, api.EndpointState.UP, 1.0, 0.0)
         for number in range(servers)
     ]
-    fleet = Fleet(gateways, listed, seed=7, work=lambda draw: draw.expovariate(1 / work_ms))
+    fleet = GatewayFleet(gateways, listed, seed=7, work=lambda draw: draw.expovariate(1 / work_ms))
     digest = Digest()
     fleet.run(4.0, pace)
-    fleet.dead.update(range(servers - dead, servers))
+    fleet.silent_servers.update(range(servers - dead, servers))
     fleet.run(4.0, pace)
     joined = api.Server(servers, "a", "std", 0, api.EndpointState.UP, 1.0, fleet.now)
-    fleet.tell([*listed[: servers - dead], joined])
+    fleet.update_endpoints([*listed[: servers - dead], joined])
     fleet.run(4.0, lambda gateway: pace * (1 + gateway % 3))
     digest.add(fleet.sends)
-    digest.add((fleet.served, fleet.refused, fleet.cancelled))
+    digest.add((fleet.served, fleet.rejected, fleet.cancelled))
     return digest
 
 
--- a/tests/decisions/test_fleet_sums.py
+++ b/tests/decisions/test_fleet_sums.py
@@ -10,7 +10,7 @@
 
 from badgeryoke.decisions import interface as api
 from badgeryoke.gateway.discovery.backoff import DiscoveryBackoff
-from tests.support.policy_fleet import Fleet
+from tests.support.policy_fleet import GatewayFleet
 from tests.support.samples import server
 
 SERVERS = [server(n) for n in range(1, 61)]
@@ -18,14 +18,14 @@
 
 def test_work_of_uneven_length_is_not_given_up_as_silent_by_a_fleet() -> None:
     """join+vast: 13% of the attempts of the first five seconds were cancelled, all at servers that worked."""
-    fleet = Fleet(40, SERVERS)
+    fleet = GatewayFleet(40, SERVERS)
     fleet.run(15.0, 8.0)
     assert len(fleet.sends) > 3000 and fleet.cancelled < 0.004 * len(fleet.sends)
 
 
 def test_a_gateway_of_a_fleet_keeps_to_servers_that_it_sends_enough_to_know() -> None:
     """join+vast: each gateway met 55 of 60 servers, and sent as much to those that were slow."""
-    fleet = Fleet(40, SERVERS)
+    fleet = GatewayFleet(40, SERVERS)
     fleet.run(20.0, 8.0)
     late = [(n, to) for at, n, to in fleet.sends if at > fleet.now - 5000]
     met = Counter(n for n, _ in set(late))
@@ -36,12 +36,12 @@
 
 @pytest.mark.parametrize("seed", [1, 2])
 def test_a_fleet_finds_out_silent_servers(seed: int) -> None:
-    fleet = Fleet(40, SERVERS, seed)
+    fleet = GatewayFleet(40, SERVERS, seed)
     fleet.run(10.0, 8.0)
-    fleet.dead = set(range(1, 11))
+    fleet.silent_servers = set(range(1, 11))
     fleet.run(10.0, 8.0)
     late = [to for at, _, to in fleet.sends if at > fleet.now - 3000]
-    assert sum(to in fleet.dead for to in late) < 0.08 * len(late)
+    assert sum(to in fleet.silent_servers for to in late) < 0.08 * len(late)
 
 
 def most_in_a_window(times: list[float], window: float) -> int:
@@ -54,9 +54,9 @@
     """join+vast: 18 servers of 60, new for 4 to 9 s, got 55 of 1,247 sends, and at 200 gateways hardly any: a
     turn was reckoned from all servers, of which one keeps to few, and lost where a warm one was quicker.
     """
-    fleet = Fleet(gateways, SERVERS[:40], overload_multiple=3.0)
+    fleet = GatewayFleet(gateways, SERVERS[:40], overload_multiple=3.0)
     fleet.run(6.0, 480.0 / gateways)
-    fleet.tell([server(n, started=fleet.now) for n in range(41, 61)], api.ListScope.CHANGES)
+    fleet.update_endpoints([server(n, started=fleet.now) for n in range(41, 61)], api.ListScope.CHANGES)
     born = fleet.now
     fleet.run(8.0, 480.0 / gateways)
     late = [to for at, _, to in fleet.sends if at > born + 2000]
--- a/tests/decisions/test_quota.py
+++ b/tests/decisions/test_quota.py
@@ -327,8 +327,11 @@
     more = [request(f"b{n}", plan="capped") for n in range(20)]
     sent = [only(admit(made, START + 60, event, totals), api.SendAttempt) for event in more]
     assert 0 < sum(map(bool, sent)) <= 8
-    [led] = made._quota._quotas.values()
-    assert led.headroom_bucket is not None and led.headroom_bucket.capacity(START + 60) == 0.0
+    [customer_quota] = made._quota._quotas.values()
+    assert (
+        customer_quota.headroom_bucket is not None
+        and customer_quota.headroom_bucket.capacity(START + 60) == 0.0
+    )
 
 
 def lose(made: DecisionEngine, now: float, event: api.Request) -> tuple[api.AddToCounter, list[api.Action]]:
@@ -347,10 +350,10 @@
     later = START + 1.2 * made._quota._quotas[7].period_ms
     made._quota._call_probability = 1.0
     [call] = only(made.handle(later, request("c", units=1.0)), api.AddToCounter)
-    led = made._quota._quotas[7]
-    used, seen = led.bucket.tat, led.synchronized_at
+    customer_quota = made._quota._quotas[7]
+    used, seen = customer_quota.bucket.tat, customer_quota.synchronized_at
     made.handle(later, api.CounterReply(call.name, api.Verdict.OK, 2.0, call.units + 3.0))  # three by others
-    assert led.bucket.tat >= max(used, seen) + 3.0 * led.bucket.interval_ms
+    assert customer_quota.bucket.tat >= max(used, seen) + 3.0 * customer_quota.bucket.interval_ms
 
 
 def test_the_closing_read_does_not_charge_own_units_that_timed_out_a_second_time() -> None:
@@ -358,12 +361,12 @@
     totals: dict[int, float] = {}
     admit(made, START, request("a", units=1.0), totals)
     lost, _ = lose(made, START + 60.0, request("b", units=2.0))
-    led = made._quota._quotas[7]
-    later = START + 1.2 * led.period_ms
+    customer_quota = made._quota._quotas[7]
+    later = START + 1.2 * customer_quota.period_ms
     made._quota._call_probability = 1.0
     [call] = only(made.handle(later, request("c", units=1.0)), api.AddToCounter)
     made.handle(later, api.CounterReply(call.name, api.Verdict.OK, 2.0, call.units))
-    assert led.previous_total == totals[lost.name] + lost.units
+    assert customer_quota.previous_total == totals[lost.name] + lost.units
 
 
 def test_what_was_sent_unheard_counts_when_the_counter_is_first_heard() -> None:
@@ -374,10 +377,10 @@
     made._quota._call_probability = 1.0
     [call] = only(made.handle(START + 60.0, request("b", units=1.0)), api.AddToCounter)
     made.handle(START + 60.0, api.CounterReply(call.name, api.Verdict.OK, 2.0, call.units + 2.0))
-    led = made._quota._quotas[7]
-    start = (led.period - led.period_phase) * led.period_ms
-    assert led.bucket.tat == pytest.approx(
-        start + 2.0 * led.bucket.interval_ms, abs=100.0
+    customer_quota = made._quota._quotas[7]
+    start = (customer_quota.period - customer_quota.period_phase) * customer_quota.period_ms
+    assert customer_quota.bucket.tat == pytest.approx(
+        start + 2.0 * customer_quota.bucket.interval_ms, abs=100.0
     )  # some came back since
 
 
@@ -440,8 +443,8 @@
     quota = made._quota
     quota._call_probability = 0.5
     for n in range(20):
-        led = quota.quota_for(START, request(f"r{n}", customer=n))
-        led.unreported_units = 1.0
-        [call] = only(quota.synchronize(START, led), api.AddToCounter)
+        customer_quota = quota.quota_for(START, request(f"r{n}", customer=n))
+        customer_quota.unreported_units = 1.0
+        [call] = only(quota.synchronize(START, customer_quota), api.AddToCounter)
         quota.replied(START, api.CounterReply(call.name, api.Verdict.OK, 15.0 if n < 5 else takes_ms, 1.0))
     assert (quota._call_probability > 1.0) is grows and (quota._call_probability < 0.1) is not grows
--- a/tests/decisions/test_random_settings.py
+++ b/tests/decisions/test_random_settings.py
@@ -243,8 +243,12 @@
     play = Play(seed, True)
     play.run()
     assert play.repeats
-    for led in play.made._quota._quotas.values():
-        assert all(math.isfinite(one.tat) for one in (led.bucket, led.own_bucket, led.headroom_bucket) if one)
+    for customer_quota in play.made._quota._quotas.values():
+        assert all(
+            math.isfinite(one.tat)
+            for one in (customer_quota.bucket, customer_quota.own_bucket, customer_quota.headroom_bucket)
+            if one
+        )
 
 
 def test_a_quota_that_was_lifted_while_units_are_to_be_told_holds_again_when_it_is_back() -> None:
--- a/tests/support/samples.py
+++ b/tests/support/samples.py
@@ -1,4 +1,4 @@
-"""Hand-made settings and events for the tests."""
+"""Settings, events and helpers for the tests of the decision engine."""
 
 from __future__ import annotations
 
@@ -40,12 +40,12 @@
 def server(
     number: int, zone: str = "a", state: api.EndpointState = api.EndpointState.UP, started: float = 0.0
 ) -> api.Server:
-    """One member."""
+    """One entry of an endpoint list."""
     return api.Server(number, zone, "std", 0, state, 1.0, started)
 
 
 def gateway(servers: Iterable[api.Server] | None = None, seed: int = 1, **changes: Any) -> DecisionEngine:
-    """A gateway that knows its servers; four warm ones in two zones unless told otherwise."""
+    """An engine that knows its servers; by default four warm ones in two zones."""
     made = DecisionEngine(replace(SETTINGS, **changes), seed)
     if servers is None:
         servers = [server(1), server(2), server(3, "b"), server(4, "b")]
@@ -62,7 +62,7 @@
     spread: int = 2,
     remaining: float = 4000.0,
 ) -> api.Request:
-    """One client try."""
+    """One client request."""
     return api.Request(rid, cls, plan, customer, remaining, units, spread)
 
 
@@ -73,7 +73,7 @@
     rtt: float = 50.0,
     ended: bool | None = None,
 ) -> api.AttemptOutcome:
-    """The end of an attempt; a good one ends the request."""
+    """The end of an attempt; a success ends the request."""
     done = verdict is api.Verdict.OK if ended is None else ended
     return api.AttemptOutcome(send.id, attempt, send.server, verdict, rtt, done)
 
@@ -86,7 +86,7 @@
 def answer(
     made: DecisionEngine, now: float, counts: Iterable[api.AddToCounter], totals: dict[int, float]
 ) -> list[api.Action]:
-    """Play the counter: add to the totals and give each answer back, to the calls that follow as well."""
+    """Stand in for the counter: add to the totals and reply to each call, also to those that follow."""
     out: list[api.Action] = []
     todo = list(counts)
     while todo:
@@ -99,7 +99,7 @@
 
 
 def admit(made: DecisionEngine, now: float, event: api.Request, totals: dict[int, float]) -> list[api.Action]:
-    """Bring a request and answer the calls it causes."""
+    """Handle a request and reply to the counter calls it causes."""
     actions = made.handle(now, event)
     return [a for a in actions if not isinstance(a, api.AddToCounter)] + answer(
         made, now, only(actions, api.AddToCounter), totals
