--- a/badgeryoke/cluster/reservations/lease_renewal.py
+++ b/badgeryoke/cluster/reservations/lease_renewal.py
@@ -70,7 +70,9 @@
 
 
 def plan_renewal(now: float, wall: float, lease: ContractLease, lease_ms: float) -> Renewal | None:
-    """What to request next, and when; None where nothing is to be requested.  The bucket is filled."""
+    """What to request next, and when; None where nothing is to be requested.  The lease has been filled up to
+    now.  Whether it draws per request from here on is noted in the lease, as requests of customers go by
+    that as well."""
     if lease.interval_at(wall) is None:
         return _plan_return(now, lease, lease_ms)
     rate, silence_ms = lease.contract_rate(wall), now - lease.demand.last_ms
