--- a/badgeryoke/decisions/policy/quota.py
+++ b/badgeryoke/decisions/policy/quota.py
@@ -4,9 +4,8 @@
 import random
 
 from badgeryoke.decisions import interface as api
-from badgeryoke.decisions.counter_health.visibility import Visibility
 from badgeryoke.decisions.counter_name import MAX_COUNTER_NAME, counter_name
-from badgeryoke.decisions.plan_schedule.plan_change import replan
+from badgeryoke.decisions.quota_protocols import CounterVisibility
 
 SECOND_MS = 1000.0  # rates are per second, times in milliseconds
 MIN_PERIOD_MS = 1000.0  # a shorter period would be closed more often than used
@@ -144,7 +143,7 @@
     def __init__(self, settings: api.Settings, rng: random.Random) -> None:
         self._rng, self._conformance = rng, dict[str, float]()  # by plan, the share of conforming requests
         self.update_settings(settings)
-        self.visibility: Visibility | None = None  # None: the counter is taken to be healthy
+        self.visibility: CounterVisibility | None = None  # None: the counter is taken to be healthy
         self._quotas: dict[int, CustomerQuota] = {}  # by customer
         self._calls: dict[int, CustomerQuota] = {}  # by counter name
         self._call_probability = 1.0 if settings.has_counter else 0.0  # for a reply of mean value
@@ -174,6 +173,8 @@
         quota.last_used_at = now
         plan = self._plans.get(quota.plan.name, quota.plan)
         if plan is not quota.plan and not quota.calls_in_flight:
+            from badgeryoke.decisions.plan_schedule.plan_change import replan  # only where plans change
+
             quota.first_gateway = request.first_gateway
             quota.gateway_set_size = max(1, min(request.gateway_set_size, self._settings.gateway_count))
             replan(now, quota, plan, self._settings)
--- a/badgeryoke/decisions/quota_protocols.py
+++ b/badgeryoke/decisions/quota_protocols.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from typing import Protocol, Self, TypeVar
+from typing import Any, Protocol, Self, TypeVar
 
 from badgeryoke.decisions.interface import Plan, Settings
 
@@ -56,3 +56,23 @@
 
     def compute_period_ms(self) -> float:
         """The length of a period."""
+
+
+class CounterVisibility(Protocol):
+    """Which gateways the counter shows to this one, and what may be granted then; see
+    `counter_health.visibility.Visibility`, which is loaded only where counter health is switched on."""
+
+    version: int
+    epoch: int
+
+    def apply(self, now: float, quota: CustomerQuota[Any]) -> None:
+        """Bring a customer's buckets in line with what is visible now."""
+
+    def alone(self, quota: CustomerQuota[Any]) -> bool:
+        """Whether this gateway sees none of the customer's others."""
+
+    def hushed(self, now: float, quota: CustomerQuota[Any]) -> bool:
+        """Whether calls for the customer are suppressed."""
+
+    def heard(self, quota: CustomerQuota[Any], others: float) -> float:
+        """The units that count as others' use, of those that a total shows."""
--- a/tests/project/test_project.py
+++ b/tests/project/test_project.py
@@ -68,6 +68,7 @@
 
 def test_what_the_policy_imports_imports_nothing_of_it() -> None:
     found = [f"{POLICY_PACKAGE}.{file.stem}" for file in policy_files() if file.stem != "__init__"]
+    found.append("badgeryoke.decisions.counter_health.visibility")  # the policy calls it through a protocol
     seen = dict.fromkeys(found)
     while found:
         name = found.pop()
