--- a/badgeryoke/cluster/bootstrap.py
+++ b/badgeryoke/cluster/bootstrap.py
@@ -92,7 +92,7 @@
         self._others = sorted(name for name in self._halls if name != setup.me)
         self._lowest = min([*self._others, setup.me])
         self._none: dict[str, tuple[float, MemberId]] = {}  # who answered "none", when and as whom
-        self._lock, self._locks = saved.vote, saved.term
+        self._lock, self._locks = saved.voted_for, saved.current_term
         self._past: dict[MemberId, None] = {}  # askers under the lowest name that are over
         self._asked: dict[int, MemberId] = {}  # answers that wait for the lock to be stored
         self._storing: tuple[int, BootstrapRecord] | None = None
@@ -114,7 +114,7 @@
         if isinstance(event, MessageReceived):
             self._received(now, event.sender, event.message, out)
         elif isinstance(event, RecordsPersisted) and event.group == FOUNDING:
-            self._stored(event.seq, out)
+            self._stored(event.sequence, out)
         elif isinstance(event, StorageFailure):
             self.error, self.due = event.error, math.inf
         if now >= self.due and self.record is None:
--- a/badgeryoke/cluster/events.py
+++ b/badgeryoke/cluster/events.py
@@ -16,8 +16,8 @@
 class HardState:
     """Term and vote; replaces the one before."""
 
-    term: int
-    vote: MemberId
+    current_term: int
+    voted_for: MemberId
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,8 +31,8 @@
 class Snapshot:
     """All up to an index, in place of the entries up to there."""
 
-    index: int
-    term: int
+    last_included_index: int
+    last_included_term: int
     config: GroupConfiguration
     body: bytes
 
@@ -49,8 +49,8 @@
 class PersistedGroup:
     """What a store gives back of one group at a start."""
 
-    term: int = 0
-    vote: MemberId = ""
+    current_term: int = 0
+    voted_for: MemberId = ""
     snapshot: Snapshot | None = None
     entries: tuple[LogEntry, ...] = ()
 
@@ -74,7 +74,7 @@
     asked."""
 
     group: str
-    seq: int
+    sequence: int
     records: tuple[Record, ...]
 
 
@@ -119,7 +119,7 @@
     """Store(group, seq) is on stable storage."""
 
     group: str
-    seq: int
+    sequence: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -150,15 +150,15 @@
     under way."""
 
     token: str
-    act: str  # "learn", "promote" or "remove"
-    who: MemberId
+    action: str  # "learn", "promote" or "remove"
+    member: MemberId
 
 
 @dataclass(frozen=True, slots=True)
 class TransferLeadership:
     """Let another lead: `to`, or whoever has most where it is empty."""
 
-    to: MemberId = ""
+    target: MemberId = ""
 
 
 ReplicaEvent = (
--- a/badgeryoke/cluster/messages.py
+++ b/badgeryoke/cluster/messages.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-VERSION = 1
+PROTOCOL_VERSION = 1
 MemberId = str  # "name/incarnation"
 
 
@@ -56,55 +56,55 @@
     """For a vote; `pre`: only whether one would be given (pre-vote, nothing is stored by it).  `lead`: the
     leader has handed over, so that who has heard a leader lately votes all the same."""
 
-    last_index: int
-    last_term: int
-    pre: bool
-    lead: bool = False
+    last_log_index: int
+    last_log_term: int
+    pre_vote: bool
+    leadership_transfer: bool = False
 
 
 class RequestVoteReply(GroupMessage, frozen=True, tag="Vote"):
     """The answer to Ask."""
 
-    granted: bool
-    pre: bool
+    vote_granted: bool
+    pre_vote: bool
 
 
 class AppendEntries(GroupMessage, frozen=True, tag="Append"):
     """Entries behind `previous`; none: a heartbeat.  `round` comes back, for reads."""
 
-    previous: int
-    previous_term: int
+    prev_log_index: int
+    prev_log_term: int
     entries: tuple[LogEntry, ...]
-    commit: int
-    round: int
+    leader_commit: int
+    heartbeat_round: int
 
 
 class AppendEntriesReply(GroupMessage, frozen=True, tag="Appended"):
     """The answer: what is on stable storage here.  Refused: `index` is where to try next."""
 
-    good: bool
+    success: bool
     index: int
-    round: int
+    heartbeat_round: int
 
 
 class InstallSnapshotChunk(GroupMessage, frozen=True, tag="Piece"):
     """A piece of a snapshot up to (`index`, `index_term`), from byte `offset` of `size`."""
 
-    index: int
-    index_term: int
+    last_included_index: int
+    last_included_term: int
     config: GroupConfiguration
-    offset: int
-    size: int
-    body: bytes
-    round: int
+    offset_bytes: int
+    total_bytes: int
+    data: bytes
+    heartbeat_round: int
 
 
 class InstallSnapshotChunkReply(GroupMessage, frozen=True, tag="PieceTaken"):
     """The bytes held of the snapshot up to `index`."""
 
-    index: int
-    held: int
-    round: int
+    last_included_index: int
+    received_bytes: int
+    heartbeat_round: int
 
 
 class TimeoutNow(GroupMessage, frozen=True, tag="Lead"):
--- a/badgeryoke/cluster/node.py
+++ b/badgeryoke/cluster/node.py
@@ -211,7 +211,7 @@
                 effects += self._ours.pop(effect.token, _nobody)(now, effect.result)
             else:
                 effects.append(effect)
-        self.due = min(self.due, replica.due)  # what has become later costs one Tick that does nothing
+        self.due = min(self.due, replica.due_ms)  # what has become later costs one Tick that does nothing
         if group == FLEET and replica.leading:
             self._hurry(now)
         if self.rules.count != broken and not isinstance(event, StorageFailure):
@@ -330,7 +330,7 @@
         if self.membership.due <= now:
             effects += self._gossip(raw, self.membership.handle(now, Tick()))
         for group, replica in list(self.replicas.items()):
-            if replica.due <= now:
+            if replica.due_ms <= now:
                 effects += self._feed(now, group, Tick())
         for token, call in list(self._calls.items()):
             if call.until <= now:
@@ -374,7 +374,7 @@
                 self.founding.due,
                 self.membership.due,
                 self._eager(),
-                *(replica.due for replica in self.replicas.values()),
+                *(replica.due_ms for replica in self.replicas.values()),
                 *(min(call.until, call.again) for call in self._calls.values()),
             ]
         )
@@ -467,8 +467,8 @@
         """Whom to ask: the leader as this member's replica knows it, as last heard, else one copy after
         the other."""
         replica = self.replicas.get(group)
-        if replica is not None and replica.leader and replica.leader != self.me and round_ % 2 == 1:
-            return replica.leader
+        if replica is not None and replica.leader_id and replica.leader_id != self.me and round_ % 2 == 1:
+            return replica.leader_id
         if round_ == 1 and self._routes.get(group) in self.membership.alive():
             return self._routes[group]
         alive = {member_name(who): who for who in self.membership.alive() if who != self.me}
@@ -529,7 +529,7 @@
         """A call of another member."""
 
         def reply(at: float, result: ApplyResult | ClusterError) -> list[Effect]:
-            leader = self.replicas[message.group].leader if message.group in self.replicas else ""
+            leader = self.replicas[message.group].leader_id if message.group in self.replicas else ""
             body = msgspec.msgpack.encode(
                 [result, None, leader] if isinstance(result, ApplyResult) else [None, result, leader]
             )
@@ -586,12 +586,12 @@
         }  # as leaders reported it
         for group, made in self.replicas.items():
             if made.leading:
-                behind[group] = made.behind() + self._late(now, group, made)
+                behind[group] = made.lagging_learners() + self._late(now, group, made)
         return LeaderView(
             now,
             wall,
             self.me,
-            replica.lead_since,
+            replica.leader_since_ms,
             self._timings,
             self._living(),
             self.membership.dead_for(now),
@@ -677,7 +677,7 @@
             and len(self.membership.alive()) >= len(self._places.members)
             and not any(held.behind for held in self._places.groups.values())
             and not any(
-                replica.leading and (replica.config.learners or replica.lagging())
+                replica.leading and (replica.config.learners or replica.lagging_voters())
                 for replica in self.replicas.values()
             )
         )
@@ -685,18 +685,18 @@
     def _late(self, now: float, group: str, replica: RaftNode) -> tuple[MemberId, ...]:
         """Voters that have long not caught up: not each lag is an entry in the fleet's log.  A leader that
         has only just begun knows of none how long; it counts those of whom it has not heard yet."""
-        lagging = replica.lagging()
+        lagging = replica.lagging_voters()
         self._lags = {key: since for key, since in self._lags.items() if key[0] != group or key[1] in lagging}
-        fresh = now - replica.lead_since < LATE_MS
+        fresh = now - replica.leader_since_ms < LATE_MS
         return tuple(
             who for who in lagging if now - self._lags.setdefault((group, who), now) >= LATE_MS or fresh
         )
 
     def _members(self, now: float, wall: float, group: str, replica: RaftNode) -> list[Effect]:
         """One step of a change of members, or the report of how they stand."""
-        if replica.commit < replica.config_index:
+        if replica.commit_index < replica.config_index:
             return []
-        behind = replica.behind()
+        behind = replica.lagging_learners()
         step = self._places.wanted(group, replica.config, behind, self.membership.alive())
         if step is None:
             report = self._places.report(
@@ -706,7 +706,7 @@
                 return []
             self._working[report.id] = None
             return self._ask(now, wall, report, self._worked(report))
-        if step.act == "remove" and step.who == self.me:
+        if step.action == "remove" and step.member == self.me:
             return self._feed(now, group, TransferLeadership())
         token = self._token()
         self._changing[group] = None
@@ -731,12 +731,12 @@
             "members": {name: self.membership.state_of(name) for name in self._halls},
             "groups": {
                 group: {
-                    "leader": replica.leader,
-                    "term": replica.term,
-                    "commit": replica.commit,
+                    "leader": replica.leader_id,
+                    "term": replica.current_term,
+                    "commit": replica.commit_index,
                     "voters": list(replica.config.voters),
                     "learners": list(replica.config.learners),
-                    "behind": list(replica.behind()) if replica.leading else None,
+                    "behind": list(replica.lagging_learners()) if replica.leading else None,
                 }
                 for group, replica in self.replicas.items()
             },
--- a/badgeryoke/cluster/placement/directory.py
+++ b/badgeryoke/cluster/placement/directory.py
@@ -581,15 +581,15 @@
     config = log.config
     if config is None or survivor not in config.voters or {survivor, *lost} != set(config.voters) or not lost:
         return saved
-    term, voters = saved.term + FORCED_TERMS, config.voters
-    made = [log.at(index) for index in range(log.base + 1, log.last + 1)]
+    term, voters = saved.current_term + FORCED_TERMS, config.voters
+    made = [log.entry_at(index) for index in range(log.base_index + 1, log.last_index + 1)]
     for who in lost:  # one at a time, as every change of members
         voters = tuple(one for one in voters if one != who)
         made.append(
-            LogEntry(log.base + len(made) + 1, term, CONFIG, encode_config(GroupConfiguration(voters)))
+            LogEntry(log.base_index + len(made) + 1, term, CONFIG, encode_config(GroupConfiguration(voters)))
         )
     note = msgspec.msgpack.encode(
         {"forced": group, "survivor": survivor, "lost": lost, "at_ms": math.floor(now)}
     )
-    made.append(LogEntry(log.base + len(made) + 1, term, NOTHING, note))
+    made.append(LogEntry(log.base_index + len(made) + 1, term, NOTHING, note))
     return PersistedGroup(term, survivor, saved.snapshot, tuple(made))
--- a/badgeryoke/cluster/raft/log.py
+++ b/badgeryoke/cluster/raft/log.py
@@ -22,11 +22,11 @@
     def __init__(
         self, base: int, term: int, config: GroupConfiguration | None, entries: tuple[LogEntry, ...] = ()
     ) -> None:
-        self.base, self.base_term = base, term
+        self.base_index, self.base_term = base, term
         self._configs: list[tuple[int, GroupConfiguration | None]] = [(base, config)]
         self._entries: list[LogEntry] = []
         for entry in entries:
-            self.add(entry)
+            self.append(entry)
 
     @classmethod
     def load(cls, saved: PersistedGroup) -> RaftLog:
@@ -41,19 +41,19 @@
             if entries:
                 raise ValueError("entries without a snapshot before them")
             return cls(0, 0, None)
-        if entries and entries[0].term < snapshot.term:
+        if entries and entries[0].term < snapshot.last_included_term:
             entries = ()
-        for at, entry in enumerate(entries, snapshot.index + 1):
-            if entry.index != at or entry.term > saved.term:
+        for at, entry in enumerate(entries, snapshot.last_included_index + 1):
+            if entry.index != at or entry.term > saved.current_term:
                 raise ValueError(
-                    f"entry {at}: found index {entry.index} of term {entry.term} in term {saved.term}"
+                    f"entry {at}: found index {entry.index} of term {entry.term} in term {saved.current_term}"
                 )
-        return cls(snapshot.index, snapshot.term, snapshot.config, entries)
+        return cls(snapshot.last_included_index, snapshot.last_included_term, snapshot.config, entries)
 
     @property
-    def last(self) -> int:
+    def last_index(self) -> int:
         """The last index."""
-        return self.base + len(self._entries)
+        return self.base_index + len(self._entries)
 
     @property
     def config(self) -> GroupConfiguration | None:
@@ -71,19 +71,19 @@
 
     def term_at(self, index: int) -> int:
         """Of the entry there; 0 where there is none."""
-        if index == self.base:
+        if index == self.base_index:
             return self.base_term
-        at = index - self.base - 1
+        at = index - self.base_index - 1
         return self._entries[at].term if 0 <= at < len(self._entries) else 0
 
-    def at(self, index: int) -> LogEntry:
+    def entry_at(self, index: int) -> LogEntry:
         """The entry there."""
-        return self._entries[index - self.base - 1]
+        return self._entries[index - self.base_index - 1]
 
-    def some(self, index: int, most: int, most_bytes: int) -> tuple[LogEntry, ...]:
+    def entries_from(self, index: int, most: int, most_bytes: int) -> tuple[LogEntry, ...]:
         """Entries from an index on: at most so many and so long in all, but one at the least where there
         is one."""
-        at = index - self.base - 1
+        at = index - self.base_index - 1
         found = self._entries[at : at + most]
         size = 0
         for count, entry in enumerate(found):
@@ -99,21 +99,21 @@
             index -= 1
         return index
 
-    def add(self, entry: LogEntry) -> None:
+    def append(self, entry: LogEntry) -> None:
         """At the end."""
         self._entries.append(entry)
         if entry.kind == CONFIG:
             self._configs.append((entry.index, _decode(entry.body)))
 
-    def cut(self, index: int) -> None:
+    def truncate_from(self, index: int) -> None:
         """Drop what lies at or behind an index."""
-        del self._entries[index - self.base - 1 :]
-        while self._configs[-1][0] >= index > self.base:
+        del self._entries[index - self.base_index - 1 :]
+        while self._configs[-1][0] >= index > self.base_index:
             self._configs.pop()
 
-    def compact(self, index: int) -> None:
+    def compact_up_to(self, index: int) -> None:
         """Drop what lies at or before an index."""
         config, term = self.config_at(index), self.term_at(index)
-        del self._entries[: index - self.base]
-        self.base, self.base_term = index, term
+        del self._entries[: index - self.base_index]
+        self.base_index, self.base_term = index, term
         self._configs = [(index, config)] + [held for held in self._configs if held[0] > index]
--- a/badgeryoke/cluster/raft/node.py
+++ b/badgeryoke/cluster/raft/node.py
@@ -83,10 +83,10 @@
 from badgeryoke.cluster.timings import Timings
 
 WINDOW = 4  # batches to one member without an answer; what comes meanwhile makes the next batch
-MOST_BODY = 128 * 1024  # bytes of one proposal; a longer one is refused
+MAX_COMMAND_BYTES = 128 * 1024  # bytes of one proposal; a longer one is refused
 MOST_BATCH_BYTES = 256 * 1024  # bytes of one append's entries; a single entry may be as long as it is
-MOST_SNAPSHOT = 64 * 1024 * 1024  # bytes; a longer one is not taken in
-MOST_HELD = 4096  # messages that wait for the store; the oldest then counts as lost
+MAX_SNAPSHOT_BYTES = 64 * 1024 * 1024  # bytes; a longer one is not taken in
+MAX_WITHHELD_MESSAGES = 4096  # messages that wait for the store; the oldest then counts as lost
 MOST_STORES = 1024  # stores open; a leader takes no proposals then
 QUIET = 3  # beats of a leader with nothing to say, within `election_ms`
 
@@ -105,7 +105,7 @@
     """Where a copy stands in its term."""
 
     FOLLOWER = "follower"
-    PRE = "asks whether it would be voted for"
+    PRE_CANDIDATE = "asks whether it would be voted for"
     CANDIDATE = "candidate"
     LEADER = "leader"
 
@@ -129,7 +129,7 @@
 
     next: int  # index to send next
     heard: float  # when it last answered
-    match: int = 0  # on its stable storage up to here, as in the leader's log
+    match_index: int = 0  # on its stable storage up to here, as in the leader's log
     round: int = 0  # the last one it answered
     goal: float = math.inf  # the commit index at the last heartbeat: caught up when `match` is there
     probing: bool = True  # one append at a time, until one fits
@@ -174,12 +174,12 @@
         config: GroupConfiguration | None = None,
     ) -> None:
         """`config` counts only where `saved` is empty; ValueError where `saved` does not hold together."""
-        self.group, self.me, self._machine, self._timings = group, me, machine, timings
+        self.group, self.member_id, self._machine, self._timings = group, me, machine, timings
         self._draw, self._rules = draw, rules
-        self.term, self.vote = saved.term, saved.vote
-        self.role, self.leader = Role.FOLLOWER, ""
-        self.leading, self.lead_since = False, 0.0
-        self.stopped: ClusterError | None = None  # why this copy promises nothing more
+        self.current_term, self.voted_for = saved.current_term, saved.voted_for
+        self.role, self.leader_id = Role.FOLLOWER, ""
+        self.leading, self.leader_since_ms = False, 0.0
+        self.stop_reason: ClusterError | None = None  # why this copy promises nothing more
         self._records: list[Record] = []  # for the next store
         self._snapshot = saved.snapshot
         if config is not None and saved == PersistedGroup():
@@ -190,15 +190,19 @@
             self._log = RaftLog.load(saved)
             if saved.snapshot is not None:
                 machine.restore(now, saved.snapshot.body)
-        self.commit = self.applied = self._log.base
+        self.commit_index = self.last_applied = self._log.base_index
         self._member = False  # a committed configuration has had this one
         self._note_member()
         # Stable: what the store has said is stored, so far as it is still so in the log here.
-        self._safe_index, self._safe_term, self._safe_vote = self._log.last, self.term, self.vote
+        self._persisted_index, self._safe_term, self._safe_vote = (
+            self._log.last_index,
+            self.current_term,
+            self.voted_for,
+        )
         self._seq = self._stored = 0
         self._open: deque[_Open] = deque()
-        self._held: deque[tuple[int, MemberId, Told]] = deque()
-        self._out: list[Effect] = []
+        self._withheld_messages: deque[tuple[int, MemberId, Told]] = deque()
+        self._effects: list[Effect] = []
         # Of a follower or candidate.
         self._heard = -math.inf  # a leader's word
         self._told_commit = math.inf  # what the leader last told to be committed; nothing yet
@@ -209,7 +213,7 @@
         self._round_told = 0
         self._led = (0, "")  # the last term in which a leader was seen, and it
         # Of a leader.
-        self._peers: dict[MemberId, FollowerProgress] = {}
+        self._followers: dict[MemberId, FollowerProgress] = {}
         self._pending: dict[int, str] = {}  # tokens of proposals and changes by index
         self._reads: deque[tuple[int, str]] = deque()  # round that has to come back, token
         self._new_reads: list[str] = []  # wait for the next round
@@ -220,7 +224,7 @@
         self._quorum_until = -math.inf
         self._handing: tuple[MemberId, float] | None = None  # to whom, and until when
         self._lead_told = False  # to stand; told again at each heartbeat
-        self.due = math.inf
+        self.due_ms = math.inf
         self._set_due()
 
     # What others may look at
@@ -232,9 +236,11 @@
         return self._log.config or GroupConfiguration(())
 
     @property
-    def whole(self) -> bool:
+    def is_up_to_date(self) -> bool:
         """Whether this copy has applied all that its leader told to be committed, at its last word."""
-        return self.leading or (bool(self.leader) and self._told_commit <= self.commit == self.applied)
+        return self.leading or (
+            bool(self.leader_id) and self._told_commit <= self.commit_index == self.last_applied
+        )
 
     @property
     def config_index(self) -> int:
@@ -242,30 +248,30 @@
         return self._log.config_index
 
     @property
-    def last(self) -> int:
+    def last_log_index(self) -> int:
         """The last index of the log."""
-        return self._log.last
+        return self._log.last_index
 
     @property
-    def removed(self) -> bool:
+    def is_removed(self) -> bool:
         """Whether a committed configuration has let this member go, after one that had it (known since the
         start)."""
-        config = self._log.config_at(self.commit)
+        config = self._log.config_at(self.commit_index)
         return (
             self._member
             and config is not None
-            and self.me not in config.voters
-            and self.me not in config.learners
+            and self.member_id not in config.voters
+            and self.member_id not in config.learners
         )
 
-    def behind(self) -> tuple[MemberId, ...]:
+    def lagging_learners(self) -> tuple[MemberId, ...]:
         """Learners that have not caught up, by the leader."""
         return tuple(who for who in self.config.learners if not self._caught_up(who)) if self.leading else ()
 
-    def lagging(self) -> tuple[MemberId, ...]:
+    def lagging_voters(self) -> tuple[MemberId, ...]:
         """Voters that have not caught up, by the leader; each is that for a moment now and then."""
         return (
-            tuple(who for who in self.config.voters if who != self.me and not self._caught_up(who))
+            tuple(who for who in self.config.voters if who != self.member_id and not self._caught_up(who))
             if self.leading
             else ()
         )
@@ -274,24 +280,24 @@
         """For operators."""
         return {
             "group": self.group,
-            "role": self.role.name.lower(),
-            "term": self.term,
-            "leader": self.leader,
+            "role": "pre" if self.role is Role.PRE_CANDIDATE else self.role.name.lower(),
+            "term": self.current_term,
+            "leader": self.leader_id,
             "voters": list(self.config.voters),
             "learners": list(self.config.learners),
-            "last": self.last,
-            "commit": self.commit,
-            "applied": self.applied,
-            "stored": self._safe_index,
+            "last": self.last_log_index,
+            "commit": self.commit_index,
+            "applied": self.last_applied,
+            "stored": self._persisted_index,
             "in_flight": len(self._pending),
-            "stopped": None if self.stopped is None else str(self.stopped),
+            "stopped": None if self.stop_reason is None else str(self.stop_reason),
             "members": {
                 who: {
-                    "match": peer.match,
+                    "match": peer.match_index,
                     "heard_ms": now - peer.heard,
                     "snapshot_bytes": peer.held if peer.snapshot is not None else None,
                 }
-                for who, peer in self._peers.items()
+                for who, peer in self._followers.items()
             },
         }
 
@@ -301,16 +307,16 @@
     def handle(self, now: float, event: ReplicaEvent) -> list[Effect]:
         """Take an event in; gives what has to be done, in order."""
         out: list[Effect] = []
-        self._out = out
-        if self.stopped is not None:
+        self._effects = out
+        if self.stop_reason is not None:
             if isinstance(event, ProposeCommand | ReadIndexRequest | ChangeMembership):
-                out.append(OperationCompleted(event.token, self.stopped))
+                out.append(OperationCompleted(event.token, self.stop_reason))
             return out
         # First: a process that stood still must not go on as the leader, nor count what waited for it as just
         # said.
-        if self.role is Role.LEADER and now > self._quorum_until and not self._has_quorum(now):
+        if self.role is Role.LEADER and now > self._quorum_until and not self._heard_from_quorum(now):
             self._say("warning", "majority-not-heard")
-            self._follow(now, self.term)
+            self._become_follower(now, self.current_term)
         match event:
             case MessageReceived(sender, message):
                 self._received(now, sender, message)
@@ -319,7 +325,7 @@
             case ProposeCommand(token, body):
                 self._propose(now, token, body)
             case ReadIndexRequest(token):
-                self._read(now, token)
+                self._handle_read(now, token)
             case Tick():
                 self._tick(now)
             case ChangeMembership():
@@ -334,33 +340,37 @@
         self._set_due()
         return out
 
-    def forget(self) -> list[Effect]:
+    def discard(self) -> list[Effect]:
         """This member keeps no copy any more: its log goes, and it answers nothing from here on.
 
         Term and vote stay: taken in again under the same Id, it must not vote a second time in a term.
         """
         out: list[Effect] = []
-        self._out = out
+        self._effects = out
         self._stop(0.0, NotFound(self.group, "no copy is kept here"))
         self._seq += 1
-        out.append(PersistRecords(self.group, self._seq, (DiscardGroup(), HardState(self.term, self.vote))))
+        out.append(
+            PersistRecords(
+                self.group, self._seq, (DiscardGroup(), HardState(self.current_term, self.voted_for))
+            )
+        )
         return out
 
     def _flush(self) -> None:
         """One store for all that one event changed."""
-        if self._records and self.stopped is None:
+        if self._records and self.stop_reason is None:
             self._seq += 1
-            self._open.append(_Open(self._seq, self._log.last, self.term, self.vote))
-            self._out.insert(0, PersistRecords(self.group, self._seq, tuple(self._records)))
+            self._open.append(_Open(self._seq, self._log.last_index, self.current_term, self.voted_for))
+            self._effects.insert(0, PersistRecords(self.group, self._seq, tuple(self._records)))
             self._records = []
 
     def _set_due(self) -> None:
-        if self.stopped is not None:
-            self.due = math.inf
+        if self.stop_reason is not None:
+            self.due_ms = math.inf
         elif self.role is Role.LEADER:
-            self.due = self._beat if self._handing is None else min(self._beat, self._handing[1])
+            self.due_ms = self._beat if self._handing is None else min(self._beat, self._handing[1])
         else:
-            self.due = self._deadline if self.me in self.config.voters else math.inf
+            self.due_ms = self._deadline if self.member_id in self.config.voters else math.inf
 
     def _tick(self, now: float) -> None:
         if self.role is Role.LEADER:
@@ -372,7 +382,7 @@
                     self._beat = self._grid(now)
                 else:
                     self._heartbeat(now)
-        elif now >= self._deadline and self.me in self.config.voters:
+        elif now >= self._deadline and self.member_id in self.config.voters:
             self._stand(now)
 
     # Terms and votes
@@ -380,156 +390,180 @@
 
     def _harden(self, term: int, vote: MemberId) -> None:
         """Move to a term and a vote in it."""
-        if not self._rule(
+        if not self._check(
             Rule.VOTE_ONCE,
-            term > self.term or (term == self.term and self.vote in ("", vote)),
-            lambda: f"{self.me} voted for {self.vote} in {self.term}, then {vote} in {term}",
+            term > self.current_term or (term == self.current_term and self.voted_for in ("", vote)),
+            lambda: (
+                f"{self.member_id} voted for {self.voted_for} in {self.current_term}, then {vote} in {term}"
+            ),
         ):
             return
-        self.term, self.vote = term, vote
+        self.current_term, self.voted_for = term, vote
         if self._records and isinstance(self._records[-1], HardState):
             self._records.pop()
         self._records.append(HardState(term, vote))
 
-    def _follow(self, now: float, term: int, leader: MemberId = "") -> None:
+    def _become_follower(self, now: float, term: int, leader: MemberId = "") -> None:
         """Be a follower in a term, of that leader where it is known."""
         if self.role is Role.LEADER:
             self._end_lead()
         if self.role is not Role.FOLLOWER or leader:
             self._deadline = now + self._patience
-        if term > self.term:
+        if term > self.current_term:
             self._harden(term, "")
             self._taking, self._round_told = None, 0
         if self.role is not Role.FOLLOWER:
             self.role = Role.FOLLOWER
             self._patience = self._timings.election_ms * (1.0 + self._draw.random())
             self._deadline = now + self._patience
-        self.leader = leader
+        self.leader_id = leader
 
     def _stand(self, now: float) -> None:
         """Ask whether votes would be given; nothing is stored by it and no term moves.  Asked again soon,
         as one lost message or one voter that has just heard the leader must not cost a whole election
         time."""
-        self.role, self.leader, self._votes = Role.PRE, "", {self.me: None}
+        self.role, self.leader_id, self._votes = Role.PRE_CANDIDATE, "", {self.member_id: None}
         self._deadline = now + self._timings.election_ms * (0.25 + 0.25 * self._draw.random())
         if len(self._votes) >= self.config.majority():
             self._elect(now)
             return
         for who in self.config.voters:
-            if who != self.me:
-                self._tell(
+            if who != self.member_id:
+                self._send(
                     who,
                     RequestVote(
-                        self.group, self.term + 1, self._log.last, self._log.term_at(self._log.last), True
+                        self.group,
+                        self.current_term + 1,
+                        self._log.last_index,
+                        self._log.term_at(self._log.last_index),
+                        True,
                     ),
                 )
 
     def _elect(self, now: float, lead: bool = False) -> None:
         """Stand in a new term.  The own vote counts, and others are asked, once it is stored."""
-        self._harden(self.term + 1, self.me)
-        self.role, self.leader, self._votes, self._taking, self._round_told = Role.CANDIDATE, "", {}, None, 0
+        self._harden(self.current_term + 1, self.member_id)
+        self.role, self.leader_id, self._votes, self._taking, self._round_told = (
+            Role.CANDIDATE,
+            "",
+            {},
+            None,
+            0,
+        )
         self._deadline = now + self._timings.election_ms * (0.5 + 0.5 * self._draw.random())
-        last, last_term = self._log.last, self._log.term_at(self._log.last)
+        last, last_term = self._log.last_index, self._log.term_at(self._log.last_index)
         for who in self.config.voters:
-            if who != self.me:
-                self._tell_stored(who, RequestVote(self.group, self.term, last, last_term, False, lead))
+            if who != self.member_id:
+                self._send_when_persisted(
+                    who, RequestVote(self.group, self.current_term, last, last_term, False, lead)
+                )
 
     def _knows(self, who: MemberId) -> bool:
         return who in self.config.voters or who in self.config.learners
 
-    def _on_ask(self, now: float, who: MemberId, ask: RequestVote) -> None:
-        mine = (self._log.term_at(self._log.last), self._log.last)
-        theirs = (ask.last_term, ask.last_index)
+    def _handle_request_vote(self, now: float, who: MemberId, ask: RequestVote) -> None:
+        mine = (self._log.term_at(self._log.last_index), self._log.last_index)
+        theirs = (ask.last_log_term, ask.last_log_index)
         if self._log.config is None or (not self._knows(who) and theirs <= mine):
             return
         heard = self.role is Role.LEADER or now - self._heard < self._timings.election_ms
-        sticky = heard and not ask.lead
-        if ask.pre:
-            good = ask.term > self.term and theirs >= mine and not sticky
-            self._tell(who, RequestVoteReply(self.group, ask.term if good else self.term, good, True))
+        sticky = heard and not ask.leadership_transfer
+        if ask.pre_vote:
+            good = ask.term > self.current_term and theirs >= mine and not sticky
+            self._send(who, RequestVoteReply(self.group, ask.term if good else self.current_term, good, True))
             return
-        if ask.term > self.term:
+        if ask.term > self.current_term:
             if sticky:
                 return  # its term must not end a leader that is heard
-            self._follow(now, ask.term)
-        good = ask.term == self.term and theirs >= mine and self._may_vote(who)
+            self._become_follower(now, ask.term)
+        good = ask.term == self.current_term and theirs >= mine and self._may_grant_vote(who)
         if not good:
-            self._tell(who, RequestVoteReply(self.group, self.term, False, False))
+            self._send(who, RequestVoteReply(self.group, self.current_term, False, False))
             return
-        if self.vote != who:
-            self._harden(self.term, who)
+        if self.voted_for != who:
+            self._harden(self.current_term, who)
         self._deadline = now + self._patience
-        self._tell_stored(who, RequestVoteReply(self.group, self.term, True, False))
+        self._send_when_persisted(who, RequestVoteReply(self.group, self.current_term, True, False))
 
-    def _may_vote(self, who: MemberId) -> bool:
-        return self.vote in ("", who)
+    def _may_grant_vote(self, who: MemberId) -> bool:
+        return self.voted_for in ("", who)
 
     def _on_vote(self, now: float, who: MemberId, vote: RequestVoteReply) -> None:
-        if vote.pre:
-            if not vote.granted:
-                if vote.term > self.term:
-                    self._follow(now, vote.term)
-            elif self.role is Role.PRE and vote.term == self.term + 1 and self._counts(who):
+        if vote.pre_vote:
+            if not vote.vote_granted:
+                if vote.term > self.current_term:
+                    self._become_follower(now, vote.term)
+            elif (
+                self.role is Role.PRE_CANDIDATE
+                and vote.term == self.current_term + 1
+                and self._is_eligible_voter(who)
+            ):
                 self._votes[who] = None
                 if len(self._votes) >= self.config.majority():
                     self._elect(now)
-        elif vote.term > self.term:
-            self._follow(now, vote.term)
-        elif vote.granted and vote.term == self.term and self.role is Role.CANDIDATE and self._counts(who):
+        elif vote.term > self.current_term:
+            self._become_follower(now, vote.term)
+        elif (
+            vote.vote_granted
+            and vote.term == self.current_term
+            and self.role is Role.CANDIDATE
+            and self._is_eligible_voter(who)
+        ):
             self._count(now, who)
 
-    def _counts(self, who: MemberId) -> bool:
+    def _is_eligible_voter(self, who: MemberId) -> bool:
         return who in self.config.voters
 
     def _count(self, now: float, who: MemberId) -> None:
-        if not self._rule(
+        if not self._check(
             Rule.VOTE_ONCE, who in self.config.voters, lambda: f"{who} is no voter of {self.config}"
         ):
             return
         self._votes[who] = None
         if len(self._votes) >= self.config.majority():
-            self._begin_lead(now)
+            self._become_leader(now)
 
     # Leading
     # ----------------------------------------------------------------------------------------------------------
 
-    def _begin_lead(self, now: float) -> None:
-        if not self._see_leader(self.term, self.me):
+    def _become_leader(self, now: float) -> None:
+        if not self._see_leader(self.current_term, self.member_id):
             return
-        self.role, self.leader, self.leading = Role.LEADER, self.me, False
-        self._peers, self._round, self._round_back = {}, 0, 0
+        self.role, self.leader_id, self.leading = Role.LEADER, self.member_id, False
+        self._followers, self._round, self._round_back = {}, 0, 0
         self._quorum_until, self._handing = -math.inf, None
         self._meet(now)
-        self._lead_index = self._log.last + 1
+        self._lead_index = self._log.last_index + 1
         self._add(NOTHING, b"")
         self._heartbeat(now)
-        self._say("info", "leads", last=self._log.last)
+        self._say("info", "leads", last=self._log.last_index)
 
     def _meet(self, now: float) -> None:
         """Know every member of the configuration."""
         for who in self.config.voters + self.config.learners:
-            if who != self.me and who not in self._peers:
-                self._peers[who] = FollowerProgress(self._log.last + 1, now)
+            if who != self.member_id and who not in self._followers:
+                self._followers[who] = FollowerProgress(self._log.last_index + 1, now)
         self._quorum_until = -math.inf
 
     def _end_lead(self) -> None:
         """What was proposed may be committed by the next leader, or not; reads changed nothing."""
         for token in self._pending.values():
-            self._out.append(
+            self._effects.append(
                 OperationCompleted(
                     token, UnknownOutcome(self.group, "the leader changed before it was committed")
                 )
             )
         for token in [token for _, token in self._reads] + self._new_reads:
-            self._out.append(OperationCompleted(token, NoLeader(self.group, "the leader changed")))
-        self._pending, self._new_reads, self._peers = {}, [], {}
+            self._effects.append(OperationCompleted(token, NoLeader(self.group, "the leader changed")))
+        self._pending, self._new_reads, self._followers = {}, [], {}
         self._reads.clear()
         self.leading, self._handing, self._beat = False, None, math.inf
 
-    def _has_quorum(self, now: float) -> bool:
+    def _heard_from_quorum(self, now: float) -> bool:
         """Whether a majority was heard within an election time."""
         heard = sorted(
-            (now if who == self.me else self._peers[who].heard for who in self.config.voters), reverse=True
+            (now if who == self.member_id else self._followers[who].heard for who in self.config.voters),
+            reverse=True,
         )
         self._quorum_until = heard[self.config.majority() - 1] + self._timings.election_ms
         return now <= self._quorum_until
@@ -555,13 +589,13 @@
             or self._reads
             or self._new_reads
             or not self.leading
-            or self.commit != self._log.last
+            or self.commit_index != self._log.last_index
         ):
             return False
         return all(
             now - peer.heard >= self._timings.election_ms
-            or (peer.round == self._round and peer.match == peer.goal == self.commit)
-            for peer in self._peers.values()
+            or (peer.round == self._round and peer.match_index == peer.goal == self.commit_index)
+            for peer in self._followers.values()
         )
 
     def _heartbeat(self, now: float) -> None:
@@ -571,8 +605,8 @@
         if self.leading and self._new_reads:
             self._reads.extend((self._round, token) for token in self._new_reads)
             self._new_reads = []
-        for who, peer in self._peers.items():
-            peer.goal = self.commit
+        for who, peer in self._followers.items():
+            peer.goal = self.commit_index
             self._feed(now, who, peer, beat=True)
         self._finish_hand_over(again=True)
         self._rounds_back(now)
@@ -585,29 +619,41 @@
             if (
                 now - peer.heard >= self._timings.election_ms
             ):  # silent: entries or a piece would be for nothing
-                before = max(peer.next - 1, log.base)
-                self._tell(
+                before = max(peer.next - 1, log.base_index)
+                self._send(
                     who,
                     AppendEntries(
-                        self.group, self.term, before, log.term_at(before), (), self.commit, self._round
+                        self.group,
+                        self.current_term,
+                        before,
+                        log.term_at(before),
+                        (),
+                        self.commit_index,
+                        self._round,
                     ),
                 )
                 return
-        if peer.next <= log.base:
+        if peer.next <= log.base_index:
             self._feed_piece(who, peer)
             return
         while True:
             full = len(peer.flight) >= WINDOW
             if not beat and (peer.waiting if peer.probing else full):
                 return
-            entries = () if full else log.some(peer.next, self._timings.most_batch, MOST_BATCH_BYTES)
+            entries = () if full else log.entries_from(peer.next, self._timings.most_batch, MOST_BATCH_BYTES)
             if not entries and not beat:
                 return
             before = peer.next - 1
-            self._tell(
+            self._send(
                 who,
                 AppendEntries(
-                    self.group, self.term, before, log.term_at(before), entries, self.commit, self._round
+                    self.group,
+                    self.current_term,
+                    before,
+                    log.term_at(before),
+                    entries,
+                    self.commit_index,
+                    self._round,
                 ),
             )
             beat = False
@@ -627,13 +673,13 @@
         assert snapshot is not None  # a leader has a configuration, and so a snapshot
         peer.waiting = True
         body = snapshot.body[peer.held : peer.held + self._timings.piece_bytes]
-        self._tell(
+        self._send(
             who,
             InstallSnapshotChunk(
                 self.group,
-                self.term,
-                snapshot.index,
-                snapshot.term,
+                self.current_term,
+                snapshot.last_included_index,
+                snapshot.last_included_term,
                 snapshot.config,
                 peer.held,
                 len(snapshot.body),
@@ -643,33 +689,33 @@
         )
 
     def _on_appended(self, now: float, who: MemberId, told: AppendEntriesReply) -> None:
-        peer = self._answered(now, who, told.term, told.round)
+        peer = self._answered(now, who, told.term, told.heartbeat_round)
         if peer is None:
             return
-        if told.good and told.index <= self._log.last:
-            peer.match, peer.next, peer.doubted = (
-                max(peer.match, told.index),
+        if told.success and told.index <= self._log.last_index:
+            peer.match_index, peer.next, peer.doubted = (
+                max(peer.match_index, told.index),
                 max(peer.next, told.index + 1),
                 None,
             )
-            while peer.flight and peer.flight[0] <= peer.match:
+            while peer.flight and peer.flight[0] <= peer.match_index:
                 peer.flight.popleft()
-            if peer.snapshot is not None and told.index >= peer.snapshot.index:
+            if peer.snapshot is not None and told.index >= peer.snapshot.last_included_index:
                 peer.snapshot = None
             if peer.snapshot is None:
                 peer.probing = peer.waiting = False
-            self._advance(now)
+            self._advance_commit_index(now)
         elif (
-            not told.good
+            not told.success
             and told.index < peer.next
-            and (told.index > peer.match or told.index == 0 == peer.match)
+            and (told.index > peer.match_index or told.index == 0 == peer.match_index)
         ):
             # 0: a newcomer that knows no configuration takes a snapshot before anything else.
             peer.next, peer.probing, peer.waiting = told.index, True, False
             peer.flight.clear()
-        elif not told.good and told.index <= peer.match:
+        elif not told.success and told.index <= peer.match_index:
             self._doubt(who, peer, told)
-        if self.role is Role.LEADER and who in self._peers:
+        if self.role is Role.LEADER and who in self._followers:
             self._feed(now, who, peer)
             self._rounds_back(now)
             self._finish_hand_over()
@@ -681,66 +727,77 @@
         date, and nobody else could say so.
         """
         if peer.doubted is None:
-            peer.next, peer.probing, peer.waiting, peer.doubted = peer.match + 1, True, False, self._round
+            peer.next, peer.probing, peer.waiting, peer.doubted = (
+                peer.match_index + 1,
+                True,
+                False,
+                self._round,
+            )
             peer.flight.clear()
-        elif told.round > peer.doubted:
+        elif told.heartbeat_round > peer.doubted:
             peer.doubted = math.inf
-            self._say("error", "copy-went-back", who=who, acknowledged=peer.match, has=max(told.index - 1, 0))
+            self._say(
+                "error", "copy-went-back", who=who, acknowledged=peer.match_index, has=max(told.index - 1, 0)
+            )
 
     def _on_piece_taken(self, now: float, who: MemberId, told: InstallSnapshotChunkReply) -> None:
-        peer = self._answered(now, who, told.term, told.round)
+        peer = self._answered(now, who, told.term, told.heartbeat_round)
         if peer is None:
             return
         snapshot = peer.snapshot
         # The same figure again is an answer come twice: a piece for each would double them for good.
         if (
             snapshot is not None
-            and snapshot.index == told.index
-            and told.held != peer.held
-            and (0 <= told.held < len(snapshot.body))
+            and snapshot.last_included_index == told.last_included_index
+            and told.received_bytes != peer.held
+            and (0 <= told.received_bytes < len(snapshot.body))
         ):
-            peer.held, peer.waiting = told.held, False
+            peer.held, peer.waiting = told.received_bytes, False
             self._feed_piece(who, peer)
         self._rounds_back(now)
 
     def _answered(self, now: float, who: MemberId, term: int, round_: int) -> FollowerProgress | None:
         """The member that answers this leader in this term."""
-        if term > self.term:
-            self._follow(now, term)
+        if term > self.current_term:
+            self._become_follower(now, term)
             return None
-        peer = self._peers.get(who)
-        if peer is None or term != self.term or self.role is not Role.LEADER or round_ > self._round:
+        peer = self._followers.get(who)
+        if peer is None or term != self.current_term or self.role is not Role.LEADER or round_ > self._round:
             return None
         peer.heard = now
         peer.round = max(peer.round, round_)
         return peer
 
-    def _may_count(self, index: int) -> bool:
-        return self._log.term_at(index) == self.term
+    def _is_entry_of_current_term(self, index: int) -> bool:
+        return self._log.term_at(index) == self.current_term
 
-    def _advance(self, now: float) -> None:
+    def _advance_commit_index(self, now: float) -> None:
         """Commit what a majority has on stable storage (figure 2; an older term's entries only along with
         one of its own, 5.4.2)."""
         voters = self.config.voters
         at = sorted(
-            (self._safe_index if who == self.me else self._peers[who].match for who in voters), reverse=True
+            (
+                self._persisted_index if who == self.member_id else self._followers[who].match_index
+                for who in voters
+            ),
+            reverse=True,
         )[self.config.majority() - 1]
-        if at <= self.commit or not self._may_count(at):
+        if at <= self.commit_index or not self._is_entry_of_current_term(at):
             return
-        if self._rule(
+        if self._check(
             Rule.OWN_TERM,
-            self._log.term_at(at) == self.term,
-            lambda: f"{self.me} counts {at} of term {self._log.term_at(at)} in {self.term}",
+            self._log.term_at(at) == self.current_term,
+            lambda: f"{self.member_id} counts {at} of term {self._log.term_at(at)} in {self.current_term}",
         ):
-            self._commit_to(now, at)
+            self._commit_up_to(now, at)
 
     # Proposals, reads, changes
     # ----------------------------------------------------------------------------------------
 
-    def _refusal(self, bound: int) -> ClusterError | None:
+    def _rejection(self, bound: int) -> ClusterError | None:
         if self.role is not Role.LEADER:
             return NoLeader(
-                self.group, f"the leader is {self.leader}" if self.leader else "no leader is known"
+                self.group, f"the leader is {self.leader_id}" if self.leader_id else "no leader is known"
             )
         if self._handing is not None:
             return NoLeader(self.group, f"the lead goes to {self._handing[0]}")
@@ -749,20 +806,20 @@
         return None
 
     def _propose(self, now: float, token: str, body: bytes) -> None:
-        error = self._refusal(len(self._pending))
-        if error is None and len(body) > MOST_BODY:
-            error = InvalidCall(self.group, f"body: {len(body)} bytes, at most {MOST_BODY} fit")
+        error = self._rejection(len(self._pending))
+        if error is None and len(body) > MAX_COMMAND_BYTES:
+            error = InvalidCall(self.group, f"body: {len(body)} bytes, at most {MAX_COMMAND_BYTES} fit")
         if error is not None:
-            self._out.append(OperationCompleted(token, error))
+            self._effects.append(OperationCompleted(token, error))
             return
         self._pending[self._add(COMMAND, body)] = token
-        for who, peer in self._peers.items():
+        for who, peer in self._followers.items():
             self._feed(now, who, peer)
 
-    def _read(self, now: float, token: str) -> None:
-        error = self._refusal(len(self._reads) + len(self._new_reads))
+    def _handle_read(self, now: float, token: str) -> None:
+        error = self._rejection(len(self._reads) + len(self._new_reads))
         if error is not None:
-            self._out.append(OperationCompleted(token, error))
+            self._effects.append(OperationCompleted(token, error))
             return
         self._new_reads.append(token)
         if self.leading and not self._reads:
@@ -774,64 +831,73 @@
         if not self._reads and not self._new_reads:
             return
         back = sorted(
-            (self._round if who == self.me else self._peers[who].round for who in self.config.voters),
+            (
+                self._round if who == self.member_id else self._followers[who].round
+                for who in self.config.voters
+            ),
             reverse=True,
         )[self.config.majority() - 1]
         while self._reads and self._reads[0][0] <= back:
-            self._out.append(OperationCompleted(self._reads.popleft()[1], None))
+            self._effects.append(OperationCompleted(self._reads.popleft()[1], None))
         if self.leading and self._new_reads and not self._reads:
             self._heartbeat(now)
 
     def _caught_up(self, who: MemberId) -> bool:
-        peer = self._peers.get(who)
-        return peer is not None and peer.match >= peer.goal
+        peer = self._followers.get(who)
+        return peer is not None and peer.match_index >= peer.goal
 
-    def _change_fault(self, change: ChangeMembership) -> ClusterError | None:
+    def _change_rejection(self, change: ChangeMembership) -> ClusterError | None:
         """Why a change is not taken now."""
-        if not self.leading or self._log.config_index > self.commit:
+        if not self.leading or self._log.config_index > self.commit_index:
             return WrongState(self.group, "another change of members, or of leader, is under way")
-        if change.act == "promote" and not self._knows(change.who):
-            return NotFound(self.group, f"{change.who} is no learner")
-        if change.act == "promote" and change.who in self.config.learners and not self._caught_up(change.who):
-            return WrongState(self.group, f"{change.who} has not caught up")
-        if change.act == "remove" and self.config.voters == (change.who,):
-            return WrongState(self.group, f"{change.who} is the last voter")
+        if change.action == "promote" and not self._knows(change.member):
+            return NotFound(self.group, f"{change.member} is no learner")
+        if (
+            change.action == "promote"
+            and change.member in self.config.learners
+            and not self._caught_up(change.member)
+        ):
+            return WrongState(self.group, f"{change.member} has not caught up")
+        if change.action == "remove" and self.config.voters == (change.member,):
+            return WrongState(self.group, f"{change.member} is the last voter")
         return None
 
     def _change(self, now: float, change: ChangeMembership) -> None:
-        error = self._refusal(len(self._pending))
-        if error is None and change.act not in ("learn", "promote", "remove"):
-            error = InvalidCall(self.group, f"act: expected learn, promote or remove, got {change.act!r}")
-        error = error or self._change_fault(change)
+        error = self._rejection(len(self._pending))
+        if error is None and change.action not in ("learn", "promote", "remove"):
+            error = InvalidCall(self.group, f"act: expected learn, promote or remove, got {change.action!r}")
+        error = error or self._change_rejection(change)
         if error is not None:
-            self._out.append(OperationCompleted(change.token, error))
+            self._effects.append(OperationCompleted(change.token, error))
             return
-        who, voters, learners = change.who, self.config.voters, self.config.learners
-        if change.act == "learn":
+        who, voters, learners = change.member, self.config.voters, self.config.learners
+        if change.action == "learn":
             made = self.config if self._knows(who) else GroupConfiguration(voters, (*learners, who))
         else:
             learners = tuple(one for one in learners if one != who)
-            voters = (*(one for one in voters if one != who), *((who,) if change.act == "promote" else ()))
+            voters = (*(one for one in voters if one != who), *((who,) if change.action == "promote" else ()))
             made = (
                 self.config
-                if change.act == "promote" and who in self.config.voters
+                if change.action == "promote" and who in self.config.voters
                 else GroupConfiguration(voters, learners)
             )
         if made == self.config:
-            self._out.append(OperationCompleted(change.token, made))  # as asked already
+            self._effects.append(OperationCompleted(change.token, made))  # as asked already
             return
-        if not self._rule(
+        if not self._check(
             Rule.CONFIG_ONE,
             self.leading
-            and self._log.config_index <= self.commit
-            and (change.act != "promote" or self._caught_up(who)),
-            lambda: f"{change} at {self.last}, committed {self.commit}, config {self._log.config_index}",
+            and self._log.config_index <= self.commit_index
+            and (change.action != "promote" or self._caught_up(who)),
+            lambda: (
+                f"{change} at {self.last_log_index}, committed {self.commit_index}, config {self._log.config_index}"
+            ),
         ):
-            self._out.append(OperationCompleted(change.token, self.stopped))
+            self._effects.append(OperationCompleted(change.token, self.stop_reason))
             return
         self._pending[self._add(CONFIG, encode_config(made))] = change.token
         self._meet(now)
-        for one, peer in self._peers.items():
+        for one, peer in self._followers.items():
             self._feed(now, one, peer)
 
     def _hand_over(self, now: float, to: MemberId) -> None:
@@ -840,7 +906,7 @@
             return
         best = self._best(now)
         to = to or best
-        if to == self.me or to not in self.config.voters or to not in self._peers:
+        if to == self.member_id or to not in self.config.voters or to not in self._followers:
             self._say("warning", "hand-over-failed", to=to)
             return
         self._handing, self._lead_told = (to, now + self._timings.election_ms), False
@@ -849,8 +915,8 @@
     def _best(self, now: float) -> MemberId:
         """The voter beside this one that is heard and has most; empty where there is none."""
         heard = [
-            (peer.match, who)
-            for who, peer in self._peers.items()
+            (peer.match_index, who)
+            for who, peer in self._followers.items()
             if who in self.config.voters and now - peer.heard < self._timings.election_ms
         ]
         return max(heard)[1] if heard else ""
@@ -859,14 +925,14 @@
         if self._handing is None or self.role is not Role.LEADER:
             return
         to = self._handing[0]
-        peer = self._peers.get(to)
+        peer = self._followers.get(to)
         if (
             peer is not None
-            and peer.match == self._log.last == self.commit
+            and peer.match_index == self._log.last_index == self.commit_index
             and (again or not self._lead_told)
         ):
             self._lead_told = True
-            self._tell(to, TimeoutNow(self.group, self.term))
+            self._send(to, TimeoutNow(self.group, self.current_term))
 
     # Following
     # --------------------------------------------------------------------------------------------------------
@@ -878,7 +944,7 @@
             case AppendEntriesReply():
                 self._on_appended(now, who, message)
             case RequestVote():
-                self._on_ask(now, who, message)
+                self._handle_request_vote(now, who, message)
             case RequestVoteReply():
                 self._on_vote(now, who, message)
             case InstallSnapshotChunk():
@@ -886,63 +952,70 @@
             case InstallSnapshotChunkReply():
                 self._on_piece_taken(now, who, message)
             case TimeoutNow():
-                if message.term == self.term and self.leader == who and self.me in self.config.voters:
+                if (
+                    message.term == self.current_term
+                    and self.leader_id == who
+                    and self.member_id in self.config.voters
+                ):
                     self._elect(now, lead=True)
 
     def _see_leader(self, term: int, who: MemberId) -> bool:
         """Note who leads a term."""
-        holds = self._rule(
+        holds = self._check(
             Rule.ONE_LEADER,
             self._led[0] != term or self._led[1] == who,
-            lambda: f"{self.group}: {self._led[1]} and {who} in {term}, seen by {self.me}",
+            lambda: f"{self.group}: {self._led[1]} and {who} in {term}, seen by {self.member_id}",
         )
         self._led = (term, who)
         return holds
 
     def _heed(self, now: float, who: MemberId, term: int, round_: int) -> bool:
         """Whether this comes from the leader of the present term, or of a later one."""
-        if term < self.term:
-            self._tell(who, AppendEntriesReply(self.group, self.term, False, self._log.last + 1, round_))
+        if term < self.current_term:
+            self._send(
+                who,
+                AppendEntriesReply(self.group, self.current_term, False, self._log.last_index + 1, round_),
+            )
             return False
         if not self._see_leader(term, who):
             return False
-        self._follow(now, term, who)
+        self._become_follower(now, term, who)
         self._heard = now
-        return self.stopped is None
+        return self.stop_reason is None
 
     def _on_append(self, now: float, who: MemberId, said: AppendEntries) -> None:
-        if not self._heed(now, who, said.term, said.round):
+        if not self._heed(now, who, said.term, said.heartbeat_round):
             return
-        log, entries, before = self._log, said.entries, said.previous
+        log, entries, before = self._log, said.entries, said.prev_log_index
         if entries and (entries[0].index != before + 1 or entries[-1].index != before + len(entries)):
             return  # no leader sends that
-        self._told_commit = said.commit
+        self._told_commit = said.leader_commit
         match = before + len(entries)
         if log.config is None:
-            self._refuse(who, 0, said.round)
+            self._refuse(who, 0, said.heartbeat_round)
             return
-        if before > log.last:
-            self._refuse(who, log.last + 1, said.round)
+        if before > log.last_index:
+            self._refuse(who, log.last_index + 1, said.heartbeat_round)
             return
-        if before >= log.base and log.term_at(before) != said.previous_term:
-            self._refuse(who, log.first_of_term(before, self.commit + 1), said.round)
+        if before >= log.base_index and log.term_at(before) != said.prev_log_term:
+            self._refuse(who, log.first_of_term(before, self.commit_index + 1), said.heartbeat_round)
             return
-        if not self._take(entries):
+        if not self._append_entries(entries):
             return
-        self._acknowledge(who, match, said.round)
-        self._commit_to(now, min(said.commit, match))
+        self._acknowledge(who, match, said.heartbeat_round)
+        self._commit_up_to(now, min(said.leader_commit, match))
 
-    def _take(self, entries: tuple[LogEntry, ...]) -> bool:
+    def _append_entries(self, entries: tuple[LogEntry, ...]) -> bool:
         """Append what is not there yet; only what differs is cut off, as an old append may come late."""
         log = self._log
         for at, entry in enumerate(entries):
-            if entry.index <= log.base or log.term_at(entry.index) == entry.term:
+            if entry.index <= log.base_index or log.term_at(entry.index) == entry.term:
                 continue
-            if entry.index <= log.last and not self._cut(entry.index):
+            if entry.index <= log.last_index and not self._truncate(entry.index):
                 return False
             for one in entries[at:]:
                 before = self.config
-                log.add(one)
+                log.append(one)
                 if one.kind == CONFIG and not self._config_fits(before):
                     return False
             self._records.append(Entries(entries[at:]))
@@ -951,113 +1024,123 @@
 
     def _config_fits(self, before: GroupConfiguration) -> bool:
         moved = set(before.voters) ^ set(self.config.voters)
-        return self._rule(Rule.CONFIG_ONE, len(moved) <= 1, lambda: f"{before} to {self.config}")
+        return self._check(Rule.CONFIG_ONE, len(moved) <= 1, lambda: f"{before} to {self.config}")
 
-    def _cut(self, index: int) -> bool:
+    def _truncate(self, index: int) -> bool:
         """Take entries back that no majority has."""
-        if not self._rule(
+        if not self._check(
             Rule.COMMITTED_STAYS,
-            index > self.commit,
-            lambda: f"{self.me} cuts at {index}, committed {self.commit}",
+            index > self.commit_index,
+            lambda: f"{self.member_id} cuts at {index}, committed {self.commit_index}",
         ):
             return False
-        self._log.cut(index)
+        self._log.truncate_from(index)
         self._unsafe(index - 1)
         return True
 
     def _unsafe(self, index: int) -> None:
         """What is stable behind an index is no longer what the log says."""
-        self._safe_index = min(self._safe_index, index)
+        self._persisted_index = min(self._persisted_index, index)
         for one in self._open:
             one.last = min(one.last, index)
 
     def _refuse(self, who: MemberId, index: int, round_: int) -> None:
-        self._tell(who, AppendEntriesReply(self.group, self.term, False, index, round_))
+        self._send(who, AppendEntriesReply(self.group, self.current_term, False, index, round_))
 
     def _acknowledge(self, who: MemberId, match: int, round_: int) -> None:
         """Say what matches, once it is stored; a round is answered at once, as it says only whom this one
         follows."""
-        if match <= self._safe_index and self._safe_term == self.term:
-            self._tell(who, AppendEntriesReply(self.group, self.term, True, match, round_))
+        if match <= self._persisted_index and self._safe_term == self.current_term:
+            self._send(who, AppendEntriesReply(self.group, self.current_term, True, match, round_))
         else:
             if round_ > self._round_told:
-                self._tell(
-                    who, AppendEntriesReply(self.group, self.term, True, min(match, self._safe_index), round_)
+                self._send(
+                    who,
+                    AppendEntriesReply(
+                        self.group, self.current_term, True, min(match, self._persisted_index), round_
+                    ),
                 )
-            self._tell_stored(who, AppendEntriesReply(self.group, self.term, True, match, round_))
+            self._send_when_persisted(
+                who, AppendEntriesReply(self.group, self.current_term, True, match, round_)
+            )
         self._round_told = max(self._round_told, round_)
 
     def _on_piece(self, now: float, who: MemberId, piece: InstallSnapshotChunk) -> None:
-        if not self._heed(now, who, piece.term, piece.round):
+        if not self._heed(now, who, piece.term, piece.heartbeat_round):
             return
-        if self._log.config is not None and piece.index <= self.commit:
-            self._acknowledge(who, piece.index, piece.round)
+        if self._log.config is not None and piece.last_included_index <= self.commit_index:
+            self._acknowledge(who, piece.last_included_index, piece.heartbeat_round)
             return
-        if piece.size > MOST_SNAPSHOT or piece.offset + len(piece.body) > piece.size:
-            self._say("error", "snapshot-too-long", size=piece.size)
+        if piece.total_bytes > MAX_SNAPSHOT_BYTES or piece.offset_bytes + len(piece.data) > piece.total_bytes:
+            self._say("error", "snapshot-too-long", size=piece.total_bytes)
             return
-        key = (who, piece.index, piece.index_term, piece.size)
+        key = (who, piece.last_included_index, piece.last_included_term, piece.total_bytes)
         if self._taking is None or self._taking.key != key:
             self._taking = _Taking(key, bytearray())
         body = self._taking.body
-        if piece.offset == len(body):
-            body += piece.body
-        if len(body) < piece.size:
-            self._tell(
-                who, InstallSnapshotChunkReply(self.group, self.term, piece.index, len(body), piece.round)
+        if piece.offset_bytes == len(body):
+            body += piece.data
+        if len(body) < piece.total_bytes:
+            self._send(
+                who,
+                InstallSnapshotChunkReply(
+                    self.group, self.current_term, piece.last_included_index, len(body), piece.heartbeat_round
+                ),
             )
             return
         self._taking = None
-        self._install(now, Snapshot(piece.index, piece.index_term, piece.config, bytes(body)))
-        self._acknowledge(who, piece.index, piece.round)
+        self._install(
+            now, Snapshot(piece.last_included_index, piece.last_included_term, piece.config, bytes(body))
+        )
+        self._acknowledge(who, piece.last_included_index, piece.heartbeat_round)
 
     def _install(self, now: float, snapshot: Snapshot) -> None:
         """In place of the log up to there; what lies behind stays where it goes on from the same entry."""
         log = self._log
         if (
             log.config is not None
-            and log.last > snapshot.index
-            and log.term_at(snapshot.index) == snapshot.term
+            and log.last_index > snapshot.last_included_index
+            and log.term_at(snapshot.last_included_index) == snapshot.last_included_term
         ):
-            log.compact(snapshot.index)
+            log.compact_up_to(snapshot.last_included_index)
         else:
-            self._unsafe(self.commit)
-            self._held.clear()  # they count as lost; what follows acknowledges more
-            self._log = RaftLog(snapshot.index, snapshot.term, snapshot.config)
+            self._unsafe(self.commit_index)
+            self._withheld_messages.clear()  # they count as lost; what follows acknowledges more
+            self._log = RaftLog(snapshot.last_included_index, snapshot.last_included_term, snapshot.config)
         self._machine.restore(now, snapshot.body)
         self._snapshot = snapshot
         self._records.append(snapshot)
-        self.commit = self.applied = snapshot.index
+        self.commit_index = self.last_applied = snapshot.last_included_index
         self._note_member()
-        self._say("info", "snapshot-taken", index=snapshot.index, bytes=len(snapshot.body))
+        self._say("info", "snapshot-taken", index=snapshot.last_included_index, bytes=len(snapshot.body))
 
     # Committing and applying
     # ------------------------------------------------------------------------------------------
 
     def _add(self, kind: int, body: bytes) -> int:
         """An entry of the leader's own term."""
-        entry = LogEntry(self._log.last + 1, self.term, kind, body)
+        entry = LogEntry(self._log.last_index + 1, self.current_term, kind, body)
         before = self.config
-        self._log.add(entry)
+        self._log.append(entry)
         self._records.append(Entries((entry,)))
         if kind == CONFIG:
             self._config_fits(before)
         return entry.index
 
-    def _commit_to(self, now: float, index: int) -> None:
-        if index <= self.commit:
+    def _commit_up_to(self, now: float, index: int) -> None:
+        if index <= self.commit_index:
             return
-        before, self.commit = self.commit, index
+        before, self.commit_index = self.commit_index, index
         log = self._log
-        while self.applied < index:
-            entry = log.at(self.applied + 1)
-            if not self._rule(
+        while self.last_applied < index:
+            entry = log.entry_at(self.last_applied + 1)
+            if not self._check(
                 Rule.APPLIED_ONCE,
-                entry.index == self.applied + 1,
-                lambda: f"out of order after {self.applied}",
+                entry.index == self.last_applied + 1,
+                lambda: f"out of order after {self.last_applied}",
             ):
                 return
-            self.applied = entry.index
+            self.last_applied = entry.index
             result: Any = None
             if entry.kind == COMMAND:
                 result = self._machine.apply(now, entry.index, entry.body)
@@ -1065,43 +1148,50 @@
                 result = log.config_at(entry.index)
             token = self._pending.pop(entry.index, None)
             if token is not None:
-                self._out.append(OperationCompleted(token, result))
+                self._effects.append(OperationCompleted(token, result))
         self._note_member()
         if self.role is Role.LEADER:
-            if not self.leading and self.commit >= self._lead_index:
-                self.leading, self.lead_since = True, now
+            if not self.leading and self.commit_index >= self._lead_index:
+                self.leading, self.leader_since_ms = True, now
                 self._rounds_back(now)
             if before < log.config_index <= index:
                 self._let_go(now)
-        if self.applied - (self._snapshot.index if self._snapshot else 0) >= self._timings.snapshot_entries:
+        if (
+            self.last_applied - (self._snapshot.last_included_index if self._snapshot else 0)
+            >= self._timings.snapshot_entries
+        ):
             self._compact()
 
     def _note_member(self) -> None:
-        config = None if self._member else self._log.config_at(self.commit)
-        self._member = self._member or (config is not None and self.me in config.voters + config.learners)
+        config = None if self._member else self._log.config_at(self.commit_index)
+        self._member = self._member or (
+            config is not None and self.member_id in config.voters + config.learners
+        )
 
     def _let_go(self, now: float) -> None:
         """A configuration is committed: who is not in it hears of that once, and a leader that is not
         steps down."""
-        for who in [who for who in self._peers if not self._knows(who)]:
-            self._feed(now, who, self._peers[who], beat=True)
-            del self._peers[who]
-        if self.me not in self.config.voters:
+        for who in [who for who in self._followers if not self._knows(who)]:
+            self._feed(now, who, self._followers[who], beat=True)
+            del self._followers[who]
+        if self.member_id not in self.config.voters:
             best = self._best(now)
             if best:
-                self._tell(best, TimeoutNow(self.group, self.term))
-            self._follow(now, self.term)
+                self._send(best, TimeoutNow(self.group, self.current_term))
+            self._become_follower(now, self.current_term)
 
     def _compact(self) -> None:
         """Put what is applied into a snapshot.  As many entries again stay in memory, so that who is a
         little behind needs no snapshot."""
-        config = self._log.config_at(self.applied)
+        config = self._log.config_at(self.last_applied)
         assert config is not None
-        self._snapshot = Snapshot(self.applied, self._log.term_at(self.applied), config, self._machine.dump())
+        self._snapshot = Snapshot(
+            self.last_applied, self._log.term_at(self.last_applied), config, self._machine.dump()
+        )
         self._records.append(self._snapshot)
-        keep = self.applied - self._timings.snapshot_entries
-        if keep > self._log.base:
-            self._log.compact(keep)
+        keep = self.last_applied - self._timings.snapshot_entries
+        if keep > self._log.base_index:
+            self._log.compact_up_to(keep)
 
     # Stable storage
     # ---------------------------------------------------------------------------------------------------
@@ -1110,44 +1200,47 @@
         while self._open and self._open[0].seq <= seq:
             done = self._open.popleft()
             self._stored = done.seq
-            self._safe_index, self._safe_term, self._safe_vote = done.last, done.term, done.vote
-            while self._held and self._held[0][0] <= done.seq:
-                _, to, message = self._held.popleft()
-                if message.term == self.term:  # else it counts as lost
-                    self._tell(to, message)
+            self._persisted_index, self._safe_term, self._safe_vote = done.last, done.term, done.vote
+            while self._withheld_messages and self._withheld_messages[0][0] <= done.seq:
+                _, to, message = self._withheld_messages.popleft()
+                if message.term == self.current_term:  # else it counts as lost
+                    self._send(to, message)
         if self.role is Role.LEADER:
-            self._advance(now)
+            self._advance_commit_index(now)
             if self.role is Role.LEADER:
                 self._finish_hand_over()
-        elif self.role is Role.CANDIDATE and (self._safe_term, self._safe_vote) == (self.term, self.me):
-            self._count(now, self.me)
+        elif self.role is Role.CANDIDATE and (self._safe_term, self._safe_vote) == (
+            self.current_term,
+            self.member_id,
+        ):
+            self._count(now, self.member_id)
 
-    def _tell_stored(self, to: MemberId, message: Told) -> None:
+    def _send_when_persisted(self, to: MemberId, message: Told) -> None:
         """Tell when all up to here is stored."""
         seq = self._seq + 1 if self._records else self._seq
         if seq <= self._stored:
-            self._tell(to, message)
+            self._send(to, message)
             return
-        if len(self._held) >= MOST_HELD:
-            self._held.popleft()
-        self._held.append((seq, to, message))
+        if len(self._withheld_messages) >= MAX_WITHHELD_MESSAGES:
+            self._withheld_messages.popleft()
+        self._withheld_messages.append((seq, to, message))
 
-    def _tell(self, to: MemberId, message: Told) -> None:
+    def _send(self, to: MemberId, message: Told) -> None:
         holds = True
         match message:
-            case AppendEntriesReply(good=True):
-                holds = message.index <= self._safe_index
-            case RequestVoteReply(granted=True, pre=False):
+            case AppendEntriesReply(success=True):
+                holds = message.index <= self._persisted_index
+            case RequestVoteReply(vote_granted=True, pre_vote=False):
                 holds = (self._safe_term, self._safe_vote) == (message.term, to)
-            case RequestVote(pre=False):
-                holds = (self._safe_term, self._safe_vote) == (message.term, self.me)
-        if self._rule(Rule.STORED_FIRST, holds, lambda: f"{self.me} tells {to} {message}"):
-            self._out.append(SendMessage(to, message))
+            case RequestVote(pre_vote=False):
+                holds = (self._safe_term, self._safe_vote) == (message.term, self.member_id)
+        if self._check(Rule.STORED_FIRST, holds, lambda: f"{self.member_id} tells {to} {message}"):
+            self._effects.append(SendMessage(to, message))
 
     # Ends
     # -------------------------------------------------------------------------------------------------------------
 
-    def _rule(self, rule: Rule, holds: bool, facts: Any) -> bool:
+    def _check(self, rule: Rule, holds: bool, facts: Any) -> bool:
         """Check an invariant; where it does not hold this copy promises nothing more."""
         if holds or self._rules.check(rule, False, facts):
             return True
@@ -1155,19 +1248,21 @@
         return False
 
     def _stop(self, now: float, error: ClusterError) -> None:
-        if self.stopped is not None:
+        if self.stop_reason is not None:
             return
         if self.role is Role.LEADER:
             best = self._best(now) if isinstance(error, StorageFailed) else ""
             if best:
-                self._out.append(
-                    SendMessage(best, TimeoutNow(self.group, self.term))
+                self._effects.append(
+                    SendMessage(best, TimeoutNow(self.group, self.current_term))
                 )  # it need not wait for an election time
             self._end_lead()
-        self.stopped, self.role, self.leader, self.leading = error, Role.FOLLOWER, "", False
-        self._held.clear()
+        self.stop_reason, self.role, self.leader_id, self.leading = error, Role.FOLLOWER, "", False
+        self._withheld_messages.clear()
         self._records = []
         self._say("error", "copy-stopped", error=str(error))
 
     def _say(self, level: str, event: str, **fields: Any) -> None:
-        self._out.append(LogEvent(level, event, {"group": self.group, "term": self.term, **fields}))
+        self._effects.append(
+            LogEvent(level, event, {"group": self.group, "term": self.current_term, **fields})
+        )
--- a/badgeryoke/gateway/cluster/connection_leases.py
+++ b/badgeryoke/gateway/cluster/connection_leases.py
@@ -339,13 +339,13 @@
         node.lead_nothing = rolled.lead_nothing
         self._wants(keeper)
         self._close(keeper, now)
-        replicas = [one for one in node.replicas.values() if one.me in one.config.voters]
+        replicas = [one for one in node.replicas.values() if one.member_id in one.config.voters]
         rolled.tell(
             leads=sum(one.leading for one in replicas),
             trimmed=all(pool.open - pool.closing <= pool.need for pool in keeper.pools.values()),
             drained=self._gateway.drained,
             empty=not self._gateway.unanswered and keeper.empty,
-            whole=node.founding.record is not None and all(one.whole for one in replicas),
+            whole=node.founding.record is not None and all(one.is_up_to_date for one in replicas),
         )
         for duty in rolled.duties(now):
             log.info("roll %s: %s", rolled.record.get("roll"), duty.name.lower())
--- a/badgeryoke/gateway/cluster/service.py
+++ b/badgeryoke/gateway/cluster/service.py
@@ -264,7 +264,10 @@
                     PersistRecords(
                         group,
                         0,
-                        (HardState(made.term, made.vote), Entries(made.entries[len(saved.entries) :])),
+                        (
+                            HardState(made.current_term, made.voted_for),
+                            Entries(made.entries[len(saved.entries) :]),
+                        ),
                     )
                 ]
             )
--- a/badgeryoke/gateway/cluster/storage.py
+++ b/badgeryoke/gateway/cluster/storage.py
@@ -155,28 +155,35 @@
             return
         group = self._groups.setdefault(name, _Group())
         if isinstance(record, HardState):
-            group.term, group.vote = record.term, record.vote
+            group.term, group.vote = record.current_term, record.voted_for
         elif isinstance(record, Snapshot):
             # The log behind a snapshot stays only where it holds the entry that the snapshot ends with.
-            at = name, record.index
+            at = name, record.last_included_index
             found = db.execute("SELECT term, sum FROM entry WHERE grp = ? AND idx = ?", at).fetchone()
-            if record.index < group.base:
-                raise DamagedRecord(f"group {name}: a snapshot to {record.index} behind one to {group.base}")
-            if found is not None and found[0] == record.term:
+            if record.last_included_index < group.base:
+                raise DamagedRecord(
+                    f"group {name}: a snapshot to {record.last_included_index} behind one to {group.base}"
+                )
+            if found is not None and found[0] == record.last_included_term:
                 db.execute("DELETE FROM entry WHERE grp = ? AND idx <= ?", at)
                 group.base_sum = found[1]
             elif db.execute("SELECT term FROM shot WHERE grp = ? AND idx = ?", at).fetchone() != (
-                record.term,
+                record.last_included_term,
             ):
                 db.execute("DELETE FROM entry WHERE grp = ?", (name,))
-                group.last, group.last_sum = record.index, _sum(record.index, record.term)
+                group.last, group.last_sum = (
+                    record.last_included_index,
+                    _sum(record.last_included_index, record.last_included_term),
+                )
                 group.base_sum = group.last_sum
-            group.base = record.index
+            group.base = record.last_included_index
             config = msgspec.msgpack.encode(record.config)
-            group.shot_sum = _shot_sum(record.index, record.term, config, record.body)
+            group.shot_sum = _shot_sum(
+                record.last_included_index, record.last_included_term, config, record.body
+            )
             db.execute(
                 "REPLACE INTO shot VALUES (?, ?, ?, ?, ?)",
-                (name, record.index, record.term, config, record.body),
+                (name, record.last_included_index, record.last_included_term, config, record.body),
             )
         elif record.entries:
             self._append(name, group, record.entries)
@@ -532,7 +539,7 @@
         self.transactions += 1
         self.records += sum(len(one.records) for one in batch)
         self._next()  # the disk works on while the answers are handled
-        self._stored([RecordsPersisted(one.group, one.seq) for one in batch])
+        self._stored([RecordsPersisted(one.group, one.sequence) for one in batch])
 
     def _fail(self, error: ClusterError) -> None:
         if self.failed is None:
--- a/badgeryoke/gateway/cluster/transport.py
+++ b/badgeryoke/gateway/cluster/transport.py
@@ -33,7 +33,7 @@
 
 from badgeryoke.cluster.errors import BadFrame, ClusterError, ClusterMismatch, StaleIncarnation
 from badgeryoke.cluster.messages import (
-    VERSION,
+    PROTOCOL_VERSION,
     Ack,
     AnyMessage,
     AppendEntries,
@@ -97,8 +97,8 @@
     """The reverse, checked as far as any envelope can be."""
     try:
         head = _head.decode(body)
-        if head.version != VERSION:
-            return BadFrame(whom, f"version {head.version}, this one speaks {VERSION}")
+        if head.version != PROTOCOL_VERSION:
+            return BadFrame(whom, f"version {head.version}, this one speaks {PROTOCOL_VERSION}")
         if head.fleet != fleet:
             return ClusterMismatch(whom, f"it belongs to fleet {head.fleet[:64]!r}, this one to {fleet!r}")
         return _decoder.decode(body)
@@ -452,7 +452,7 @@
                 peer.lost += len(bodies)
                 self._error(StaleIncarnation(to, f"it is {peer.incarnation} now"))
                 continue
-            body = _encoder.encode((VERSION, self.fleet, self.me, to, bodies))
+            body = _encoder.encode((PROTOCOL_VERSION, self.fleet, self.me, to, bodies))
             out = len(body).to_bytes(4, "big") + body
             # Half open: what is written is taken, and nobody is there.  So now and then it is asked for a
             # word.
@@ -500,7 +500,7 @@
         }
 
     def _hello(self, to: str = "") -> bytes:
-        return frame(Envelope(VERSION, self.fleet, self.me, to, ()))
+        return frame(Envelope(PROTOCOL_VERSION, self.fleet, self.me, to, ()))
 
     def _error(self, error: ClusterError) -> None:
         """Tell of it, unless it was told lately."""
--- a/badgeryoke/testbed/cluster_benchmark.py
+++ b/badgeryoke/testbed/cluster_benchmark.py
@@ -323,20 +323,20 @@
 
 def rules(rounds: int = 7) -> None:
     """The same seeds played with the checks, and with an object in their place that looks at nothing."""
-    checked = RaftNode._rule, Invariants.check
+    checked = RaftNode._check, Invariants.check
     took: dict[bool, list[float]] = {True: [], False: []}
     for at in range(2 * rounds):
         on = at % 2 == 0
         if on:
-            RaftNode._rule, Invariants.check = checked  # type: ignore[method-assign]
+            RaftNode._check, Invariants.check = checked  # type: ignore[method-assign]
         else:
-            RaftNode._rule = lambda self, rule, holds, facts: bool(holds)  # type: ignore[method-assign]
+            RaftNode._check = lambda self, rule, holds, facts: bool(holds)  # type: ignore[method-assign]
             Invariants.check = lambda self, rule, holds, facts: bool(holds)  # type: ignore[method-assign]
         begun = time.process_time()
         for seed in (9, 18):
             play_seed(seed, 5, "lossless")
         took[on].append(time.process_time() - begun)
-    RaftNode._rule, Invariants.check = checked  # type: ignore[method-assign]
+    RaftNode._check, Invariants.check = checked  # type: ignore[method-assign]
     ratio = statistics.median(one / off for one, off in zip(took[True], took[False], strict=True))
     print(
         f"checked {min(took[True]):.2f} s, not {min(took[False]):.2f} s, ratio {ratio:.3f} (middle of {rounds} pairs)"
--- a/badgeryoke/testbed/cluster_simulation/disk.py
+++ b/badgeryoke/testbed/cluster_simulation/disk.py
@@ -47,14 +47,14 @@
         """The last index."""
         if self.entries:
             return self.entries[-1].index
-        return self.snapshot.index if self.snapshot else 0
+        return self.snapshot.last_included_index if self.snapshot else 0
 
     @property
     def last_term(self) -> int:
         """Its term."""
         if self.entries:
             return self.entries[-1].term
-        return self.snapshot.term if self.snapshot else 0
+        return self.snapshot.last_included_term if self.snapshot else 0
 
     def at(self, index: int) -> LogEntry | None:
         """The entry there, where it has not gone into the snapshot."""
@@ -74,22 +74,26 @@
                 held.extend(record.entries)
                 self._name(held if cut and self.config_at >= first else record.entries)
         elif isinstance(record, HardState):
-            self.term, self.vote = record.term, record.vote
+            self.term, self.vote = record.current_term, record.voted_for
         elif isinstance(record, Snapshot):
-            matches, before = self.at(record.index), self.snapshot
+            matches, before = self.at(record.last_included_index), self.snapshot
             # A log that goes on from the snapshot keeps its tail; another's tail goes with what lay before.
-            keep = (matches is not None and matches.term == record.term) or (
-                before is not None and (before.index, before.term) == (record.index, record.term)
+            keep = (matches is not None and matches.term == record.last_included_term) or (
+                before is not None
+                and (before.last_included_index, before.last_included_term)
+                == (record.last_included_index, record.last_included_term)
             )
             self.snapshot = record
-            self.entries = [entry for entry in self.entries if entry.index > record.index] if keep else []
-            if not keep or self.config_at <= record.index:
+            self.entries = (
+                [entry for entry in self.entries if entry.index > record.last_included_index] if keep else []
+            )
+            if not keep or self.config_at <= record.last_included_index:
                 self._name(self.entries)
 
     def _name(self, entries: Sequence[LogEntry]) -> None:
         """Look for the members that the log names last, among the entries that may do so."""
         if (entries is self.entries or self.config is None) and self.snapshot is not None:
-            self.config, self.config_at = self.snapshot.config, self.snapshot.index
+            self.config, self.config_at = self.snapshot.config, self.snapshot.last_included_index
         for entry in reversed(entries):
             if entry.kind == CONFIG:
                 self.config, self.config_at = (
@@ -153,7 +157,7 @@
         if self._asked:
             self._sync()
         for store in done:
-            self._tell(life, RecordsPersisted(store.group, store.seq))
+            self._tell(life, RecordsPersisted(store.group, store.sequence))
 
     def _write(self, store: PersistRecords) -> None:
         for record in store.records:
--- a/badgeryoke/testbed/cluster_simulation/gateway.py
+++ b/badgeryoke/testbed/cluster_simulation/gateway.py
@@ -587,7 +587,7 @@
         groups = node.replicas.items()
         drained = rolled.paused and side.paused_at < true - FRONT_MS
         whole = all(
-            one.whole
+            one.is_up_to_date
             for group, one in groups
             if (config := self.world.config(group)) is not None and machine.id in config.voters
         )
--- a/badgeryoke/testbed/cluster_simulation/network.py
+++ b/badgeryoke/testbed/cluster_simulation/network.py
@@ -56,7 +56,9 @@
     """About how many bytes it takes on the wire."""
     if isinstance(message, AppendEntries):
         return FRAME + sum(len(entry.body) + 12 for entry in message.entries)
-    if isinstance(message, InstallSnapshotChunk | ForwardedCall | ForwardedReply):
+    if isinstance(message, InstallSnapshotChunk):
+        return FRAME + len(message.data)
+    if isinstance(message, ForwardedCall | ForwardedReply):
         return FRAME + len(message.body)
     return FRAME
 
--- a/badgeryoke/testbed/cluster_simulation/world.py
+++ b/badgeryoke/testbed/cluster_simulation/world.py
@@ -316,12 +316,14 @@
                         told = self._configs.setdefault(message.group, [])
                         told.append(msgspec.msgpack.decode(entry.body, type=GroupConfiguration))
                         del told[:-MOST_CONFIGS]
-            if isinstance(message, AppendEntries) and message.commit > self._commits.get(message.group, 0):
-                self._commits[message.group] = message.commit
-                self._check_commit(machine, message.group, message.commit)
+            if isinstance(message, AppendEntries) and message.leader_commit > self._commits.get(
+                message.group, 0
+            ):
+                self._commits[message.group] = message.leader_commit
+                self._check_commit(machine, message.group, message.leader_commit)
         elif kind is RequestVoteReply:
             assert isinstance(message, RequestVoteReply)
-            if message.granted and not message.pre:
+            if message.vote_granted and not message.pre_vote:
                 kept = machine.disk.groups.get(message.group, Kept())
                 if kept.term < message.term or (kept.term == message.term and kept.vote != to):
                     self.found(
@@ -336,7 +338,7 @@
                     )
         elif kind is AppendEntriesReply:
             assert isinstance(message, AppendEntriesReply)
-            if message.good and message.index:
+            if message.success and message.index:
                 kept = machine.disk.groups.get(message.group, Kept())
                 if kept.last < message.index:
                     self.found(
--- a/tests/cluster/raft/test_raft.py
+++ b/tests/cluster/raft/test_raft.py
@@ -53,7 +53,7 @@
     RequestVoteReply,
     member_name,
 )
-from badgeryoke.cluster.raft.node import MOST_BODY, RaftNode, Role
+from badgeryoke.cluster.raft.node import MAX_COMMAND_BYTES, RaftNode, Role
 from badgeryoke.cluster.timings import Timings
 
 TIMINGS = Timings(snapshot_entries=15, piece_bytes=96, most_batch=4, most_in_flight=16)
@@ -106,7 +106,7 @@
     """What a store makes of records."""
     for record in store.records:
         if isinstance(record, HardState):
-            saved = replace(saved, term=record.term, vote=record.vote)
+            saved = replace(saved, current_term=record.current_term, voted_for=record.voted_for)
         elif isinstance(record, Entries):
             kept = tuple(one for one in saved.entries if one.index < record.entries[0].index)
             saved = replace(saved, entries=kept + record.entries)
@@ -114,7 +114,7 @@
             saved = replace(
                 saved,
                 snapshot=record,
-                entries=tuple(one for one in saved.entries if one.index > record.index),
+                entries=tuple(one for one in saved.entries if one.index > record.last_included_index),
             )
     return saved
 
@@ -186,18 +186,20 @@
             return
         self.carry_out(site, site.replica.handle(self.now * site.rate, event))
         replica = site.replica
-        if replica.role is Role.LEADER and self.leaders.setdefault(replica.term, site.me) != site.me:
-            raise Found(f"two leaders: {site.me} and {self.leaders[replica.term]} in {replica.term}")
+        if replica.role is Role.LEADER and self.leaders.setdefault(replica.current_term, site.me) != site.me:
+            raise Found(
+                f"two leaders: {site.me} and {self.leaders[replica.current_term]} in {replica.current_term}"
+            )
         self.tick(site)
 
     def tick(self, site: Site) -> None:
         replica, life = site.replica, site.life
-        if replica is None or replica.due == float("inf"):
+        if replica is None or replica.due_ms == float("inf"):
             return
-        due = replica.due
+        due = replica.due_ms
 
         def act() -> None:
-            if site.life == life and replica.due == due:
+            if site.life == life and replica.due_ms == due:
                 self.post(site, Tick())
 
         self.at(max(due / site.rate - self.now, 0.0) + 0.01, act)
@@ -223,7 +225,7 @@
         if site.life == life and site.stores and not site.hold_store:
             store = site.stores.pop(0)
             site.saved = write(site.saved, store)
-            self.post(site, RecordsPersisted("g", store.seq))
+            self.post(site, RecordsPersisted("g", store.sequence))
 
     def send(self, sender: MemberId, to: MemberId, message: Any) -> None:
         if (sender, to) in self.cut or self.lost(sender, to, message):
@@ -283,7 +285,7 @@
     def leader(self) -> Site | None:
         """Who leads, in the latest term."""
         found = [site for site in self.sites.values() if site.replica is not None and site.replica.leading]
-        return max(found, key=lambda site: site.replica.term if site.replica else 0, default=None)
+        return max(found, key=lambda site: site.replica.current_term if site.replica else 0, default=None)
 
     def lead(self, beside: Site | None = None) -> Site:
         """Run until somebody leads, another than that one."""
@@ -376,12 +378,12 @@
             return
         if self.replacing:
             change = replace(self.replacing[0], token=self.token())
-            config, act = leader.replica.config, change.act
+            config, act = leader.replica.config, change.action
             if (
-                (act == "learn" and change.who in config.learners)
-                or (act == "promote" and change.who in config.voters)
-                or (act == "remove" and change.who not in config.voters)
-            ) and (leader.replica.commit >= leader.replica.config_index):
+                (act == "learn" and change.member in config.learners)
+                or (act == "promote" and change.member in config.voters)
+                or (act == "remove" and change.member not in config.voters)
+            ) and (leader.replica.commit_index >= leader.replica.config_index):
                 self.replacing.pop(0)
             else:
                 world.call("change", change, leader)
@@ -442,9 +444,11 @@
             return
         for who in leader.replica.config.voters:
             other = world.sites[who]
-            base = other.saved.snapshot.index if other.saved.snapshot is not None else 0
+            base = other.saved.snapshot.last_included_index if other.saved.snapshot is not None else 0
             last = other.saved.entries[-1].index if other.saved.entries else base
-            if not self.wipe_as_was and (other.replica is None or other.replica.commit < most or last < most):
+            if not self.wipe_as_was and (
+                other.replica is None or other.replica.commit_index < most or last < most
+            ):
                 return
         world.crash(site)
         if self.wipe_as_was:
@@ -495,7 +499,7 @@
         acked += len(storm.world.acked)
         wiped += sum(not who.endswith("/1") for who in storm.world.sites)
         compacted += sum(
-            site.saved.snapshot is not None and site.saved.snapshot.index > 0
+            site.saved.snapshot is not None and site.saved.snapshot.last_included_index > 0
             for site in storm.world.sites.values()
         )
     assert acked > 25 * 20 and wiped > 2 and compacted > 50  # the runs do what they are for
@@ -531,7 +535,7 @@
         made
         for effect in effects
         if isinstance(effect, PersistRecords)
-        for made in replica.handle(now, RecordsPersisted("g", effect.seq))
+        for made in replica.handle(now, RecordsPersisted("g", effect.sequence))
     ]
 
 
@@ -555,30 +559,30 @@
         (LogEntry(1, 1, COMMAND, b"x"), LogEntry(2, 2, COMMAND, b"y")),
     )
     replica, machine = alone(founded)
-    assert sent(replica.handle(replica.due, Tick()), RequestVote)
+    assert sent(replica.handle(replica.due_ms, Tick()), RequestVote)
     made = replica.handle(2000.0, MessageReceived("b/1", RequestVoteReply("g", 4, True, True)))
     assert sent(stored(replica, 2000.0, made), RequestVote)
     made = replica.handle(2000.0, MessageReceived("b/1", RequestVoteReply("g", 4, True, False)))
-    assert replica.role is Role.LEADER and replica.last == 3
+    assert replica.role is Role.LEADER and replica.last_log_index == 3
     stored(replica, 2000.0, made)
     replica.handle(2001.0, MessageReceived("b/1", AppendEntriesReply("g", 4, True, 2, 1)))
-    assert replica.commit == 0 and not machine.rows
+    assert replica.commit_index == 0 and not machine.rows
     replica.handle(2002.0, MessageReceived("b/1", AppendEntriesReply("g", 4, True, 3, 1)))
-    assert replica.commit == 3 and machine.rows == [(1, b"x"), (2, b"y")]
+    assert replica.commit_index == 3 and machine.rows == [(1, b"x"), (2, b"y")]
 
 
 def test_a_member_that_returns_disturbs_nobody() -> None:
     world = World(1, 3)
     leader = world.lead()
-    term = member(world, leader.me).term
+    term = member(world, leader.me).current_term
     other = next(who for who in world.sites if who != leader.me)
     apart(world, (other,))
     world.run(10_000.0)
-    assert member(world, other).role is Role.PRE and member(world, other).term == term
+    assert member(world, other).role is Role.PRE_CANDIDATE and member(world, other).current_term == term
     world.cut = set()
     world.run(3000.0)
-    assert world.leader() is leader and member(world, leader.me).term == term
-    assert member(world, other).leader == leader.me
+    assert world.leader() is leader and member(world, leader.me).current_term == term
+    assert member(world, other).leader_id == leader.me
 
 
 def test_a_cut_off_leader_steps_down_and_tells_what_it_does_not_know() -> None:
@@ -617,7 +621,7 @@
     assert not isinstance(world.say(ChangeMembership("l", "learn", "d/1")), ClusterError)
     assert isinstance(
         world.say(ChangeMembership("p", "promote", "d/1")), WrongState
-    ) and replica.behind() == ("d/1",)
+    ) and replica.lagging_learners() == ("d/1",)
     world.cut = set()
     pieces = 0
 
@@ -627,7 +631,7 @@
         return isinstance(message, InstallSnapshotChunk) and pieces % 3 == 0
 
     world.lost = lossy
-    assert world.run(5000.0, lambda: not replica.behind()) and pieces >= 4
+    assert world.run(5000.0, lambda: not replica.lagging_learners()) and pieces >= 4
     assert replica.config.voters == THREE.voters  # a learner counts for nothing
     token = world.call("change", ChangeMembership("one", "promote", "d/1"), leader)
     assert isinstance(world.say(ChangeMembership("two", "remove", "a/1"), leader), WrongState)
@@ -662,7 +666,7 @@
         who for who in THREE.voters if who != second.me
     )
     assert world.run(100.0, lambda: world.leader() not in (None, second))
-    assert member(world, second.me).removed and member(world, second.me).due == float("inf")
+    assert member(world, second.me).is_removed and member(world, second.me).due_ms == float("inf")
 
 
 def test_a_hand_over_to_one_that_is_silent_ends() -> None:
@@ -681,13 +685,15 @@
     made = replica.handle(5.0, MessageReceived("b/1", RequestVote("g", 1, 0, 0, False)))
     assert not sent(made, RequestVoteReply)
     again = replica.handle(6.0, MessageReceived("c/1", RequestVote("g", 1, 0, 0, False)))
-    assert [vote.granted for vote in sent(again, RequestVoteReply)] == [False]
-    assert [vote.granted for vote in sent(stored(replica, 7.0, made), RequestVoteReply)] == [True]
+    assert [vote.vote_granted for vote in sent(again, RequestVoteReply)] == [False]
+    assert [vote.vote_granted for vote in sent(stored(replica, 7.0, made), RequestVoteReply)] == [True]
     made = replica.handle(
         8.0, MessageReceived("b/1", AppendEntries("g", 1, 0, 0, (LogEntry(1, 1, COMMAND, b"x"),), 0, 4))
     )
-    assert [(one.index, one.round) for one in sent(made, AppendEntriesReply)] == [(0, 4)]  # the round alone
-    assert [(one.good, one.index) for one in sent(stored(replica, 9.0, made), AppendEntriesReply)] == [
+    assert [(one.index, one.heartbeat_round) for one in sent(made, AppendEntriesReply)] == [
+        (0, 4)
+    ]  # the round alone
+    assert [(one.success, one.index) for one in sent(stored(replica, 9.0, made), AppendEntriesReply)] == [
         (True, 1)
     ]
 
@@ -706,7 +712,7 @@
     replica = member(world, old.me)
     assert replica.handle(
         world.now, MessageReceived("b/1", RequestVote("g", 99, 99, 99, False))
-    ) == [] and replica.due == float("inf")
+    ) == [] and replica.due_ms == float("inf")
 
 
 def test_who_is_answered() -> None:
@@ -715,20 +721,20 @@
     replica, _ = alone(PersistedGroup(), THREE)
     assert (
         replica.handle(1.0, MessageReceived("d/1", RequestVote("g", 9, 0, 0, False))) == []
-        and replica.term == 0
+        and replica.current_term == 0
     )
     made = replica.handle(2.0, MessageReceived("d/1", RequestVote("g", 9, 3, 2, False)))
-    assert replica.term == 9 and [
-        vote.granted for vote in sent(stored(replica, 2.0, made), RequestVoteReply)
+    assert replica.current_term == 9 and [
+        vote.vote_granted for vote in sent(stored(replica, 2.0, made), RequestVoteReply)
     ] == [True]
-    store = replica.forget()[-1]
+    store = replica.discard()[-1]
     assert isinstance(store, PersistRecords)
     newcomer, _ = alone(write(PersistedGroup(), store), THREE)  # its vote outlives its log
-    assert newcomer.vote == "d/1" and newcomer.config == GroupConfiguration(())
+    assert newcomer.voted_for == "d/1" and newcomer.config == GroupConfiguration(())
     newcomer, _ = alone(PersistedGroup())
     assert newcomer.handle(
         1.0, MessageReceived("b/1", RequestVote("g", 9, 3, 2, False))
-    ) == [] and newcomer.due == float("inf")
+    ) == [] and newcomer.due_ms == float("inf")
 
 
 def test_a_copy_is_whole_when_it_has_what_its_leader_told_to_be_committed() -> None:
@@ -737,11 +743,11 @@
         3, "", Snapshot(0, 0, THREE, msgspec.msgpack.encode([])), (LogEntry(1, 1, COMMAND, b"x"),)
     )
     replica, _ = alone(founded)
-    assert replica.applied == replica.commit and not replica.whole
+    assert replica.last_applied == replica.commit_index and not replica.is_up_to_date
     for index, previous, whole in ((1, 0, False), (2, 1, False), (3, 2, True)):
         said = AppendEntries("g", 3, previous, int(previous > 0), (LogEntry(index, 1, COMMAND, b"x"),), 3, 1)
         replica.handle(float(index), MessageReceived("b/1", said))
-        assert replica.leader == "b/1" and replica.whole is whole
+        assert replica.leader_id == "b/1" and replica.is_up_to_date is whole
 
 
 def test_an_earlier_incarnation_does_not_count() -> None:
@@ -762,7 +768,7 @@
         vote = MessageReceived("b/0", RequestVoteReply("g", 1, True, True))
         stored(replica, 2000.0, replica.handle(2000.0, vote))
         if kind is RaftNode:
-            assert replica.role is Role.PRE
+            assert replica.role is Role.PRE_CANDIDATE
         else:
             with pytest.raises(InvariantViolation, match="VOTE_ONCE"):
                 replica.handle(2000.0, MessageReceived("b/0", RequestVoteReply("g", 1, True, False)))
@@ -801,7 +807,7 @@
     assert isinstance(world.answers[f"p{TIMINGS.most_in_flight}"], Overloaded)
     assert isinstance(world.answers[f"r{TIMINGS.most_in_flight}"], Overloaded)
     assert isinstance(
-        world.answers[world.call("propose", ProposeCommand("long", b"x" * (MOST_BODY + 1)), leader)],
+        world.answers[world.call("propose", ProposeCommand("long", b"x" * (MAX_COMMAND_BYTES + 1)), leader)],
         Overloaded,
     )
     world.history.clear()
@@ -816,59 +822,63 @@
 class ToldTooSoon(RaftNode):
     """Votes, askings and answers go out before they are stored."""
 
-    def _tell_stored(self, to: MemberId, message: Any) -> None:
-        self._tell(to, message)
+    def _send_when_persisted(self, to: MemberId, message: Any) -> None:
+        self._send(to, message)
 
 
 class Unchecked(ToldTooSoon):
     """The same with the checks inside switched off: the world has to see it."""
 
-    def _rule(self, rule: Rule, holds: bool, facts: Any) -> bool:
+    def _check(self, rule: Rule, holds: bool, facts: Any) -> bool:
         return True
 
 
 class OldTerm(RaftNode):
     """Commits by counting copies of an older term's entry."""
 
-    def _may_count(self, index: int) -> bool:
+    def _is_entry_of_current_term(self, index: int) -> bool:
         return True
 
 
 class CutsAll(RaftNode):
     """Takes an append that comes late in place of what is committed there."""
 
-    def _take(self, entries: tuple[LogEntry, ...]) -> bool:
-        if entries and self._log.base < entries[0].index <= self.commit and not self._cut(entries[0].index):
+    def _append_entries(self, entries: tuple[LogEntry, ...]) -> bool:
+        if (
+            entries
+            and self._log.base_index < entries[0].index <= self.commit_index
+            and not self._truncate(entries[0].index)
+        ):
             return False
-        return super()._take(entries)
+        return super()._append_entries(entries)
 
 
 class TwoChanges(RaftNode):
     """Takes a change of members while another is under way, and learners that have not caught up."""
 
-    def _change_fault(self, change: ChangeMembership) -> ClusterError | None:
+    def _change_rejection(self, change: ChangeMembership) -> ClusterError | None:
         return None
 
 
 class TwoVotes(RaftNode):
     """Votes for whoever asks."""
 
-    def _may_vote(self, who: MemberId) -> bool:
+    def _may_grant_vote(self, who: MemberId) -> bool:
         return True
 
 
 class ByName(RaftNode):
     """Counts a vote by the member's name, of whatever incarnation."""
 
-    def _counts(self, who: MemberId) -> bool:
+    def _is_eligible_voter(self, who: MemberId) -> bool:
         return member_name(who) in map(member_name, self.config.voters)
 
 
 class NoRound(RaftNode):
     """Answers a read from what is applied."""
 
-    def _read(self, now: float, token: str) -> None:
-        self._out.append(
+    def _handle_read(self, now: float, token: str) -> None:
+        self._effects.append(
             OperationCompleted(token, None if self.role is Role.LEADER else NoLeader(self.group, ""))
         )
 
@@ -876,10 +886,10 @@
 class AppliesAgain(RaftNode):
     """Goes back by one with each new term."""
 
-    def _follow(self, now: float, term: int, leader: MemberId = "") -> None:
-        if term > self.term and self.applied > self._log.base:
-            self.applied -= 1
-        super()._follow(now, term, leader)
+    def _become_follower(self, now: float, term: int, leader: MemberId = "") -> None:
+        if term > self.current_term and self.last_applied > self._log.base_index:
+            self.last_applied -= 1
+        super()._become_follower(now, term, leader)
 
 
 PLANTED: tuple[tuple[str, type[RaftNode], dict[str, bool], int, tuple[str, ...]], ...] = (
--- a/tests/cluster/test_behaviour_digests.py
+++ b/tests/cluster/test_behaviour_digests.py
@@ -84,7 +84,7 @@
     group_of,
 )
 from badgeryoke.cluster.raft.log import encode_config
-from badgeryoke.cluster.raft.node import MOST_BODY, RaftNode
+from badgeryoke.cluster.raft.node import MAX_COMMAND_BYTES, RaftNode
 from badgeryoke.cluster.reservations.contract import (
     AdvanceContracts,
     CancelContract,
@@ -168,21 +168,21 @@
 
     class Recorded(RaftNode):
         def handle(self, now: float, event: ReplicaEvent) -> list[Any]:
-            digest.add((now, str(self.me), event))
+            digest.add((now, str(self.member_id), event))
             effects = super().handle(now, event)
             for effect in effects:
                 digest.add(effect)
             digest.add(
                 (
-                    self.due,
+                    self.due_ms,
                     self.role,
-                    self.term,
-                    self.commit,
-                    self.last,
-                    self.whole,
-                    self.removed,
-                    self.behind(),
-                    self.lagging(),
+                    self.current_term,
+                    self.commit_index,
+                    self.last_log_index,
+                    self.is_up_to_date,
+                    self.is_removed,
+                    self.lagging_learners(),
+                    self.lagging_voters(),
                 )
             )
             return effects
@@ -205,7 +205,7 @@
             site.replica.handle(world.now, StorageFailure(StorageFailed("g", "the disk is full")))
         site.replica.handle(world.now, ReadIndexRequest("late-read"))
         site.replica.handle(world.now, ProposeEntry("late", b"x"))
-        digest.add(site.replica.forget())
+        digest.add(site.replica.discard())
         digest.add(site.replica.status(world.now))
     check(f"replica-storm-{seed}", digest)
 
@@ -237,10 +237,12 @@
         self.answers: list[MessageReceived] = []  # on their way to the replica
 
     def term(self) -> int:
-        return max(self.replica.term + self.draw.choice((0, 0, 0, 0, 0, 0, 1, -1)), 0)
+        return max(self.replica.current_term + self.draw.choice((0, 0, 0, 0, 0, 0, 1, -1)), 0)
 
     def index(self) -> int:
-        near = self.draw.choice((self.replica.last, self.replica.commit, self.replica.last + 1))
+        near = self.draw.choice(
+            (self.replica.last_log_index, self.replica.commit_index, self.replica.last_log_index + 1)
+        )
         return max(near + self.draw.choice((0, 0, 0, -1, 1, -3)), 0)
 
     def token(self) -> str:
@@ -304,21 +306,28 @@
         message = sent.message
         match message:
             case RequestVote():
-                return MessageReceived(sent.to, RequestVoteReply("g", message.term, True, message.pre))
+                return MessageReceived(sent.to, RequestVoteReply("g", message.term, True, message.pre_vote))
             case AppendEntries():
-                last = message.previous + len(message.entries)
+                last = message.prev_log_index + len(message.entries)
                 if self.draw.random() < 0.1:
                     return MessageReceived(
-                        sent.to, AppendEntriesReply("g", message.term, False, max(last - 3, 0), message.round)
+                        sent.to,
+                        AppendEntriesReply(
+                            "g", message.term, False, max(last - 3, 0), message.heartbeat_round
+                        ),
                     )
                 return MessageReceived(
-                    sent.to, AppendEntriesReply("g", message.term, True, last, message.round)
+                    sent.to, AppendEntriesReply("g", message.term, True, last, message.heartbeat_round)
                 )
             case InstallSnapshotChunk():
                 return MessageReceived(
                     sent.to,
                     InstallSnapshotChunkReply(
-                        "g", message.term, message.index, message.offset + len(message.body), message.round
+                        "g",
+                        message.term,
+                        message.last_included_index,
+                        message.offset_bytes + len(message.data),
+                        message.heartbeat_round,
                     ),
                 )
         return None
@@ -336,7 +345,7 @@
         if chance < 0.85:
             return MessageReceived(draw.choice(self.names), self.message())
         if chance < 0.93:
-            body = b"x" * (MOST_BODY + 1) if draw.random() < 0.02 else f"p{self.tokens}".encode()
+            body = b"x" * (MAX_COMMAND_BYTES + 1) if draw.random() < 0.02 else f"p{self.tokens}".encode()
             return ProposeEntry(self.token(), body)
         if chance < 0.96:
             return ReadIndexRequest(self.token())
@@ -373,7 +382,7 @@
             now += draw.choice((0.0, 1.0, 5.0, 60.0, 300.0))
             for effect in replica.handle(now, strangers.event(seqs)):
                 if isinstance(effect, PersistRecords):
-                    seqs.append(effect.seq)
+                    seqs.append(effect.sequence)
                     saved = write(saved, effect)
                 elif (
                     isinstance(effect, SendMessage)
@@ -384,7 +393,7 @@
         digest.add(replica.status(now))
         digest.add(saved_values(saved, "g"))
         digest.add((rules.count, broken_values(rules)))
-        if replica.stopped is not None:
+        if replica.stop_reason is not None:
             saved, rules = PersistedGroup(), Invariants(strict=False)
     check(f"replica-strangers-{seed}", digest)
 
@@ -1389,7 +1398,7 @@
             effects = [
                 later
                 for one in seqs
-                for later in node.handle(now, START + now, RecordsPersisted(one.group, one.seq))
+                for later in node.handle(now, START + now, RecordsPersisted(one.group, one.sequence))
             ]
         if step % 10 == 9:
             answers_of(
--- a/tests/cluster/test_golden_cluster.py
+++ b/tests/cluster/test_golden_cluster.py
@@ -468,7 +468,7 @@
 
     async def answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         hello = await next_frame(reader)
-        writer.write(frame(messages.Envelope(messages.VERSION, CLUSTER, RECEIVER, SENDER, ())))
+        writer.write(frame(messages.Envelope(messages.PROTOCOL_VERSION, CLUSTER, RECEIVER, SENDER, ())))
         spoken.set_result(
             {"hello": hello, "messages": await next_frame(reader), "question": await next_frame(reader)}
         )
@@ -496,7 +496,7 @@
     links.listen([listening])
     reader, writer = await asyncio.open_connection(HOST, listening.getsockname()[1])
     try:
-        hello = frame(messages.Envelope(messages.VERSION, CLUSTER, SENDER, "b", ()))
+        hello = frame(messages.Envelope(messages.PROTOCOL_VERSION, CLUSTER, SENDER, "b", ()))
         writer.write(hello)
         first = await next_frame(reader)
         writer.write(hello)
@@ -528,14 +528,20 @@
     append = messages.AppendEntries(
         group=OTHER,
         term=8,
-        previous=last.index,
-        previous_term=last.term,
+        prev_log_index=last.index,
+        prev_log_term=last.term,
         entries=(entry,),
-        commit=last.index,
-        round=1,
+        leader_commit=last.index,
+        heartbeat_round=1,
     )
     beat = messages.AppendEntries(
-        group=OTHER, term=8, previous=entry.index, previous_term=8, entries=(), commit=entry.index, round=2
+        group=OTHER,
+        term=8,
+        prev_log_index=entry.index,
+        prev_log_term=8,
+        entries=(),
+        leader_commit=entry.index,
+        heartbeat_round=2,
     )
     call = encode(START_MS + 71_000.0, put)
     received: list[messages.AnyMessage] = [
@@ -550,7 +556,9 @@
         ),
         messages.IdentityQuery(sender_hall="east"),
         messages.Ping(seq=3, target="a/1", gossip=(), wall=START_MS),
-        messages.RequestVote(group="g0", term=5, last_index=9, last_term=4, pre=False, lead=True),
+        messages.RequestVote(
+            group="g0", term=5, last_log_index=9, last_log_term=4, pre_vote=False, leadership_transfer=True
+        ),
         append,
     ]
     return [
--- a/tests/cluster/test_membership.py
+++ b/tests/cluster/test_membership.py
@@ -151,7 +151,7 @@
                     self.frozen[name].append((who, event))
             elif isinstance(event, PersistRecords):
                 self.disk[name] = stored(self.disk[name], event)
-                self.give(name, RecordsPersisted(event.group, event.seq))
+                self.give(name, RecordsPersisted(event.group, event.sequence))
             elif not isinstance(event, Tick) or self.now >= self.nodes[name].due:
                 self.give(name, event)
             else:
@@ -178,9 +178,9 @@
 def stored(saved: PersistedGroup, event: PersistRecords) -> PersistedGroup:
     for record in event.records:
         if isinstance(record, HardState):
-            saved = PersistedGroup(record.term, record.vote, saved.snapshot, saved.entries)
+            saved = PersistedGroup(record.current_term, record.voted_for, saved.snapshot, saved.entries)
         elif isinstance(record, Snapshot):
-            saved = PersistedGroup(saved.term, saved.vote, record, ())
+            saved = PersistedGroup(saved.current_term, saved.voted_for, record, ())
     return saved
 
 
@@ -508,13 +508,13 @@
                 continue
             change = self.placing.wanted(group, config, self.behind, alive)
             if change is not None:
-                learners = tuple(who for who in config.learners if who != change.who)
-                voters = tuple(who for who in config.voters if who != change.who)
+                learners = tuple(who for who in config.learners if who != change.member)
+                voters = tuple(who for who in config.voters if who != change.member)
                 made = {
-                    "learn": GroupConfiguration(voters, (*learners, change.who)),
+                    "learn": GroupConfiguration(voters, (*learners, change.member)),
                     "remove": GroupConfiguration(voters, learners),
-                    "promote": GroupConfiguration((*voters, change.who), learners),
-                }[change.act]
+                    "promote": GroupConfiguration((*voters, change.member), learners),
+                }[change.action]
                 assert sum(who in alive for who in made.voters) >= made.majority()
                 self.config[group] = made
                 self.number[group] += 1
@@ -748,7 +748,11 @@
     saved = PersistedGroup(4, "a/1", base, ())
     made = forced(saved, "g0", "b/1", ("a/1", "c/1"), 1e12)
     log = RaftLog.load(made)
-    assert log.config == GroupConfiguration(("b/1",)) and made.term == 4 + FORCED_TERMS and made.vote == "b/1"
+    assert (
+        log.config == GroupConfiguration(("b/1",))
+        and made.current_term == 4 + FORCED_TERMS
+        and made.voted_for == "b/1"
+    )
     assert [entry.kind for entry in made.entries] == [CONFIG, CONFIG, NOTHING]
     sizes = [len(config.voters) for config in (log.config_at(at) for at in (7, 8, 9)) if config is not None]
     assert sizes == [3, 2, 1]
--- a/tests/cluster/test_regressions.py
+++ b/tests/cluster/test_regressions.py
@@ -76,7 +76,7 @@
 from badgeryoke.cluster.messages import (
     COMMAND,
     CONFIG,
-    VERSION,
+    PROTOCOL_VERSION,
     Ack,
     Announce,
     AppendEntries,
@@ -109,7 +109,13 @@
     group_of,
 )
 from badgeryoke.cluster.raft.log import RaftLog, encode_config
-from badgeryoke.cluster.raft.node import MOST_BODY, MOST_HELD, MOST_SNAPSHOT, RaftNode, Role
+from badgeryoke.cluster.raft.node import (
+    MAX_COMMAND_BYTES,
+    MAX_SNAPSHOT_BYTES,
+    MAX_WITHHELD_MESSAGES,
+    RaftNode,
+    Role,
+)
 from badgeryoke.cluster.reservations import contract
 from badgeryoke.cluster.reservations import lease_client as floor_module
 from badgeryoke.cluster.reservations.contract import (
@@ -173,7 +179,7 @@
 def leading(term: int, *terms: int) -> tuple[RaftNode, Kept]:
     """The same as the leader of `term`, which only itself has an entry of yet."""
     replica, machine = copy(term - 1, *terms)
-    replica.handle(replica.due, Tick())
+    replica.handle(replica.due_ms, Tick())
     made = replica.handle(2000.0, MessageReceived("b/1", RequestVoteReply("g", term, True, True)))
     stored(replica, 2000.0, made)
     stored(
@@ -181,7 +187,7 @@
         2000.0,
         replica.handle(2000.0, MessageReceived("b/1", RequestVoteReply("g", term, True, False))),
     )
-    assert replica.role is Role.LEADER and replica.term == term
+    assert replica.role is Role.LEADER and replica.current_term == term
     return replica, machine
 
 
@@ -209,19 +215,20 @@
     replica, _ = copy(4, 1, 3)
     made = replica.handle(5000.0, MessageReceived("b/1", RequestVote("g", 5, last_index, last_term, pre)))
     votes = sent(made + stored(replica, 5000.0, made), RequestVoteReply)
-    assert [vote.granted for vote in votes] == [granted]
+    assert [vote.vote_granted for vote in votes] == [granted]
 
 
 def test_a_vote_of_an_older_term_elects_nobody() -> None:
     replica, _ = copy(4, 1)
     for _ in range(2):  # it stands twice, and has no vote but its own
-        replica.handle(replica.due, Tick())
+        replica.handle(replica.due_ms, Tick())
         made = replica.handle(
-            replica.due - 1.0, MessageReceived("b/1", RequestVoteReply("g", replica.term + 1, True, True))
+            replica.due_ms - 1.0,
+            MessageReceived("b/1", RequestVoteReply("g", replica.current_term + 1, True, True)),
         )
-        stored(replica, replica.due - 1.0, made)
-    assert replica.role is Role.CANDIDATE and replica.term == 6
-    replica.handle(replica.due - 1.0, MessageReceived("c/1", RequestVoteReply("g", 5, True, False)))
+        stored(replica, replica.due_ms - 1.0, made)
+    assert replica.role is Role.CANDIDATE and replica.current_term == 6
+    replica.handle(replica.due_ms - 1.0, MessageReceived("c/1", RequestVoteReply("g", 5, True, False)))
     assert replica.role is Role.CANDIDATE
 
 
@@ -230,7 +237,7 @@
     held = replica.handle(5000.0, MessageReceived("b/1", RequestVote("g", 5, 9, 9, False)))
     later = replica.handle(5001.0, MessageReceived("c/1", AppendEntries("g", 6, 1, 1, (), 0, 1)))
     told = stored(replica, 5002.0, held + later)
-    assert replica.term == 6 and not sent(told, RequestVoteReply)
+    assert replica.current_term == 6 and not sent(told, RequestVoteReply)
 
 
 def test_a_late_word_to_stand_is_not_heeded() -> None:
@@ -238,7 +245,7 @@
     replica.handle(10.0, MessageReceived("b/1", AppendEntries("g", 5, 1, 1, (), 0, 1)))
     for who, term in (("b/1", 4), ("c/1", 5)):
         replica.handle(11.0, MessageReceived(who, TimeoutNow("g", term)))
-        assert replica.role is Role.FOLLOWER and replica.term == 5
+        assert replica.role is Role.FOLLOWER and replica.current_term == 5
     replica.handle(12.0, MessageReceived("b/1", TimeoutNow("g", 5)))
     assert replica.role is Role.CANDIDATE
 
@@ -259,9 +266,9 @@
         AppendEntriesReply("g", 5, True, 4, 99),
     ):  # to a round that never began
         replica.handle(2003.0, MessageReceived("c/1", wrong))
-        assert match(replica, "c/1") == 0 and replica.commit == 0 and not machine.rows
+        assert match(replica, "c/1") == 0 and replica.commit_index == 0 and not machine.rows
     replica.handle(2004.0, MessageReceived("c/1", AppendEntriesReply("g", 5, True, 4, 1)))
-    assert replica.commit == 4
+    assert replica.commit_index == 4
 
 
 def test_a_round_that_never_began_answers_no_read() -> None:
@@ -306,7 +313,7 @@
 def test_a_follower_commits_only_what_matches_the_leaders_log() -> None:
     replica, machine = copy(4, 1, 2, 2)
     replica.handle(10.0, MessageReceived("b/1", AppendEntries("g", 5, 1, 1, (), 3, 1)))
-    assert replica.commit == 1 and machine.rows == [(1, b"x")]
+    assert replica.commit_index == 1 and machine.rows == [(1, b"x")]
 
 
 def test_what_was_cut_off_does_not_count_as_stored() -> None:
@@ -347,7 +354,7 @@
     replica, machine = copy(4, 1, 2, 2, 2)
     body = msgspec.msgpack.encode([(1, b"x"), (2, b"y"), (3, b"z")])
     made = replica.handle(10.0, MessageReceived("b/1", pieces(3, 5, body)(6, 0, 99)))
-    assert (replica.last, replica.commit, machine.rows[-1]) == (3, 3, (3, b"z"))
+    assert (replica.last_log_index, replica.commit_index, machine.rows[-1]) == (3, 3, (3, b"z"))
     assert not [one for one in sent(made, AppendEntriesReply) if one.index]  # neither stored nor told
     assert 3 in [one.index for one in sent(stored(replica, 11.0, made), AppendEntriesReply)]
 
@@ -366,10 +373,12 @@
     replica, _ = copy(4, 1)
     first = pieces(3, 5, b"yyyyyyyyyy")
     assert (
-        sent(replica.handle(10.0, MessageReceived("b/1", first(5, 0, 4))), InstallSnapshotChunkReply)[0].held
+        sent(replica.handle(10.0, MessageReceived("b/1", first(5, 0, 4))), InstallSnapshotChunkReply)[
+            0
+        ].received_bytes
         == 4
     )
-    assert sent(replica.handle(11.0, other()), InstallSnapshotChunkReply)[0].held == 3
+    assert sent(replica.handle(11.0, other()), InstallSnapshotChunkReply)[0].received_bytes == 3
 
 
 def test_a_snapshot_bears_the_members_and_the_term_of_its_last_entry() -> None:
@@ -395,29 +404,31 @@
         for record in one.records
         if isinstance(record, Snapshot)
     ]
-    assert [(shot.index, shot.term, shot.config) for shot in shots] == [(count, 1, THREE)]
+    assert [(shot.last_included_index, shot.last_included_term, shot.config) for shot in shots] == [
+        (count, 1, THREE)
+    ]
 
 
 def test_a_log_is_loaded_without_entries_that_a_snapshot_overtook() -> None:
     saved = PersistedGroup(5, "", Snapshot(3, 4, THREE, EMPTY), (entry(4, 2), entry(5, 2)))
-    assert RaftLog.load(saved).last == 3
+    assert RaftLog.load(saved).last_index == 3
 
 
 def test_a_batch_is_bounded_in_bytes_and_a_refusal_points_behind_what_is_committed() -> None:
     log = RaftLog(0, 0, THREE, tuple(entry(at, 1, b"x" * 100) for at in range(1, 9)))
-    assert len(log.some(1, 8, 250)) == 2 and len(log.some(1, 8, 10)) == 1
+    assert len(log.entries_from(1, 8, 250)) == 2 and len(log.entries_from(1, 8, 10)) == 1
     assert log.first_of_term(8, 5) == 5
 
 
 def test_a_long_body_is_refused_and_what_waits_for_the_store_is_bounded() -> None:
     replica, _ = leading(5, 1)
-    made = replica.handle(2001.0, ProposeCommand("p", b"x" * (MOST_BODY + 1)))
+    made = replica.handle(2001.0, ProposeCommand("p", b"x" * (MAX_COMMAND_BYTES + 1)))
     assert [type(one.result) for one in made if isinstance(one, OperationCompleted)] == [InvalidCall]
     follower, _ = copy(4, 1)
     follower.handle(10.0, MessageReceived("b/1", AppendEntries("g", 5, 1, 1, (entry(2, 5),), 0, 1)))
-    for round_ in range(2, MOST_HELD + 10):
+    for round_ in range(2, MAX_WITHHELD_MESSAGES + 10):
         follower.handle(10.0, MessageReceived("b/1", AppendEntries("g", 5, 1, 1, (entry(2, 5),), 0, round_)))
-    assert len(follower._held) == MOST_HELD
+    assert len(follower._withheld_messages) == MAX_WITHHELD_MESSAGES
 
 
 # Who lives, how a fleet is formed, where its copies are
@@ -508,12 +519,12 @@
     config = GroupConfiguration(made.groups["g0"].voters)
     acts = []
     while (change := made.wanted("g0", config, (), alive)) is not None:
-        acts.append(change.act)
+        acts.append(change.action)
         config = {
             "learn": GroupConfiguration(config.voters, (new,)),
             "promote": GroupConfiguration((*config.voters, new)),
             "remove": GroupConfiguration(tuple(who for who in config.voters if who != lost)),
-        }[change.act]
+        }[change.action]
     assert acts == ["learn", "promote", "remove"]
     gone = tuple(who for who in made.groups["g0"].voters if who != lost)
     made.apply(0.0, ReplicaMoved(id="2", group="g0", voters=gone, number=1))
@@ -789,7 +800,9 @@
     results = told(effects)
     for one in effects:
         if isinstance(one, PersistRecords):
-            results += carry(made, now, made.handle(now, 1e12 + now, RecordsPersisted(one.group, one.seq)))
+            results += carry(
+                made, now, made.handle(now, 1e12 + now, RecordsPersisted(one.group, one.sequence))
+            )
     return results
 
 
@@ -805,7 +818,7 @@
 
     monkeypatch.setattr(key_value.KeyValueStore, "apply", breaks)
     carry(made, 5001.0, made.handle(5001.0, 1e12, PUT))
-    assert [group for group, replica in made.replicas.items() if replica.stopped is not None] == [at]
+    assert [group for group, replica in made.replicas.items() if replica.stop_reason is not None] == [at]
 
 
 def test_a_call_bears_its_id_into_the_log() -> None:
@@ -817,18 +830,18 @@
 def test_a_store_that_broke_ends_every_copys_promises() -> None:
     made = alone_and_leading(True)
     made.handle(5001.0, 1e12, StorageFailure(StorageFailed("a", "full")))
-    assert all(replica.stopped is not None for replica in made.replicas.values())
+    assert all(replica.stop_reason is not None for replica in made.replicas.values())
 
 
 def test_members_that_are_not_committed_are_not_reported_and_a_lag_that_lasts_is() -> None:
     made = node()
     stub: Any = SimpleNamespace(
-        commit=1,
+        commit_index=1,
         config_index=2,
         config=GroupConfiguration(("a/1",)),
-        behind=lambda: (),
-        lead_since=-1e9,
-        lagging=lambda: ("b/1",),
+        lagging_learners=lambda: (),
+        leader_since_ms=-1e9,
+        lagging_voters=lambda: ("b/1",),
     )
     made._places.groups["g0"] = GroupPlacement(("a/1", "b/1"))
     assert made._members(1.0, 1e12, "g0", stub) == []
@@ -959,7 +972,7 @@
 
 
 def test_another_version_is_turned_away() -> None:
-    for version in (VERSION - 1, VERSION + 1):
+    for version in (PROTOCOL_VERSION - 1, PROTOCOL_VERSION + 1):
         sent = msgspec.msgpack.encode(Envelope(version, "f", "a/1", "b", ()))
         assert isinstance(links_read(sent, "f", "a"), BadFrame)
 
@@ -1712,7 +1725,7 @@
     for number in range(2200):
         index += 1
         assert made.apply(0.0, index, encode(0.0, wide_promise(number % 100, f"again{number}"))).error is None
-    assert len(made.dump()) + fleet_state.MOST_IDS * 4 * 128 < MOST_SNAPSHOT * 7 / 8
+    assert len(made.dump()) + fleet_state.MOST_IDS * 4 * 128 < MAX_SNAPSHOT_BYTES * 7 / 8
 
 
 def test_remembered_answers_are_bounded_in_bytes_and_all_copies_forget_the_same(
@@ -1815,7 +1828,7 @@
     ]
     assert [one.message for one in late] == [AppendEntriesReply("g", 5, False, 1, 1)]
     out, _ = beats(replica, other, 2100.0, 3)
-    assert match(replica, "c/1") == 4 and other.last == 4
+    assert match(replica, "c/1") == 4 and other.last_log_index == 4
     for now in (2500.0, 2501.0, 2502.0):
         out += replica.handle(now, MessageReceived("c/1", late[0].message))
     out += beats(replica, other, 2600.0, 3)[0]
@@ -1826,7 +1839,7 @@
     """Else an operator is told to see to a disk that has nothing."""
     replica, _ = copy(4, 1)
     replica.handle(1.0, StorageFailure(InvariantBroken("g", "ID_ONCE: planted")))
-    assert isinstance(replica.stopped, InvariantBroken)
+    assert isinstance(replica.stop_reason, InvariantBroken)
 
 
 def test_a_lease_ask_that_comes_again_late_takes_no_part() -> None:
--- a/tests/gateway/cluster/test_service.py
+++ b/tests/gateway/cluster/test_service.py
@@ -467,7 +467,7 @@
         for words, count in (("BY HAND", 4), ("nothing to do", 4)):
             async with begun(tmp_path, forced={"g1": others, "g2": others}) as (_, node):
                 assert words in caplog.text and "fleet.forced.g2: this member holds no copy" in caplog.text
-                assert node.saved["g1"].vote == me and len(node.saved["g1"].entries) == count
+                assert node.saved["g1"].voted_for == me and len(node.saved["g1"].entries) == count
             caplog.clear()
 
     play(test)
--- a/tests/gateway/cluster/test_storage.py
+++ b/tests/gateway/cluster/test_storage.py
@@ -113,12 +113,13 @@
     last = (
         back.saved["g"].entries[-1].index
         if back.saved["g"].entries
-        else (back.saved["g"].snapshot.index if back.saved["g"].snapshot else 0)
+        else (back.saved["g"].snapshot.last_included_index if back.saved["g"].snapshot else 0)
     )
     put(back, "g", entries(last + 1, last + 2, 7))
     third = again(back)
     assert (
-        third.saved["g"].term == 9 and third.saved["g"].entries[-2:] == entries(last + 1, last + 2, 7).entries
+        third.saved["g"].current_term == 9
+        and third.saved["g"].entries[-2:] == entries(last + 1, last + 2, 7).entries
     )
     third.close()
 
@@ -308,7 +309,7 @@
         gate.set()
         await told.until(40)
         assert (
-            told.stored == [RecordsPersisted(one.group, one.seq) for one in stores]
+            told.stored == [RecordsPersisted(one.group, one.sequence) for one in stores]
             and told.writer.transactions == 2
         )
         told.writer.put([PersistRecords("last", 1, (HardState(1, "a/1"),))])
@@ -316,7 +317,7 @@
 
     asyncio.run(test())
     back = opened(disk.folder)
-    assert back.saved["last"] == PersistedGroup(1, "a/1") and back.saved["g0"].term == 39
+    assert back.saved["last"] == PersistedGroup(1, "a/1") and back.saved["g0"].current_term == 39
     back.close()
 
 
--- a/tests/gateway/cluster/test_transport.py
+++ b/tests/gateway/cluster/test_transport.py
@@ -18,7 +18,7 @@
 from badgeryoke.cluster import errors
 from badgeryoke.cluster.messages import (
     COMMAND,
-    VERSION,
+    PROTOCOL_VERSION,
     AnyMessage,
     AppendEntries,
     Envelope,
@@ -33,7 +33,7 @@
 
 SOON = Bounds(connect_s=0.2, hello_s=0.2, stall_s=0.2, ask_s=0.0, again_least_s=0.01, again_most_s=0.05)
 PING = Ping(1, "b/1", (GossipUpdate("c/1", 1, 3, "a/1"),))
-HELLO = Envelope(VERSION, "f", "a/1", "b", ())
+HELLO = Envelope(PROTOCOL_VERSION, "f", "a/1", "b", ())
 
 
 def big(size: int = 1000, index: int = 1) -> AppendEntries:
@@ -136,19 +136,19 @@
         (bytes(4), "bad-frame"),
         (b"\x00\x00\x00\x03\xff\xff\xff", "bad-frame"),
         (b"\x00\x00\x00\x40" + b"\x91" * 64, "bad-frame"),
-        (raw(VERSION + 1, "f", {"another": "form"}), "bad-frame"),
-        (raw(VERSION, "f", "a/1", "b", ("none",)), "bad-frame"),
-        (frame(Envelope(VERSION, "f", "a/1", "b", (PING,))), "bad-frame"),
-        (raw(VERSION, "other", "a/1", "b", ()), "another-fleet"),
-        (raw(VERSION, "f", "nobody/1", "b", ()), "another-fleet"),
-        (raw(VERSION, "f", "b/1", "b", ()), "another-fleet"),
-        (raw(VERSION, "f", "a", "b", ()), "another-fleet"),
-        (raw(VERSION, "f", "a/1", "b/0", ()), "stale-incarnation"),
-        (GOOD + raw(VERSION, "f", "a/1", "b/0", (PING,)), "stale-incarnation"),
-        (GOOD + raw(VERSION, "f", "c/1", "b", (PING,)), "bad-frame"),
-        (GOOD + raw(VERSION, "f", "a/1", "b", (["Unheard", 1],)), "bad-frame"),
-        (GOOD + raw(VERSION, "f", "a/1", "b", (["Ping", "one", "b/1", []],)), "bad-frame"),
-        (GOOD + frame(Envelope(VERSION, "f", "a/1", "b", (PING,) * 1025)), "bad-frame"),
+        (raw(PROTOCOL_VERSION + 1, "f", {"another": "form"}), "bad-frame"),
+        (raw(PROTOCOL_VERSION, "f", "a/1", "b", ("none",)), "bad-frame"),
+        (frame(Envelope(PROTOCOL_VERSION, "f", "a/1", "b", (PING,))), "bad-frame"),
+        (raw(PROTOCOL_VERSION, "other", "a/1", "b", ()), "another-fleet"),
+        (raw(PROTOCOL_VERSION, "f", "nobody/1", "b", ()), "another-fleet"),
+        (raw(PROTOCOL_VERSION, "f", "b/1", "b", ()), "another-fleet"),
+        (raw(PROTOCOL_VERSION, "f", "a", "b", ()), "another-fleet"),
+        (raw(PROTOCOL_VERSION, "f", "a/1", "b/0", ()), "stale-incarnation"),
+        (GOOD + raw(PROTOCOL_VERSION, "f", "a/1", "b/0", (PING,)), "stale-incarnation"),
+        (GOOD + raw(PROTOCOL_VERSION, "f", "c/1", "b", (PING,)), "bad-frame"),
+        (GOOD + raw(PROTOCOL_VERSION, "f", "a/1", "b", (["Unheard", 1],)), "bad-frame"),
+        (GOOD + raw(PROTOCOL_VERSION, "f", "a/1", "b", (["Ping", "one", "b/1", []],)), "bad-frame"),
+        (GOOD + frame(Envelope(PROTOCOL_VERSION, "f", "a/1", "b", (PING,) * 1025)), "bad-frame"),
         (GOOD + (2 << 20).to_bytes(4, "big"), "bad-frame"),
     ],
 )
@@ -262,7 +262,7 @@
 
     async def _called(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections += 1
-        writer.write(frame(Envelope(VERSION, "f", "c/1", "a", ())))
+        writer.write(frame(Envelope(PROTOCOL_VERSION, "f", "c/1", "a", ())))
         self.writers.append(writer)
         if self.reads:
             with contextlib.suppress(asyncio.CancelledError):
@@ -358,7 +358,7 @@
 
 
 def test_frames_of_chance_are_errors_and_never_more() -> None:
-    draw, whole = Random(5), frame(Envelope(VERSION, "f", "a/1", "b/1", (PING, big(30))))[4:]
+    draw, whole = Random(5), frame(Envelope(PROTOCOL_VERSION, "f", "a/1", "b/1", (PING, big(30))))[4:]
     for _ in range(3000):
         spoilt = bytearray(whole)
         for _ in range(draw.randrange(1, 4)):
--- a/tests/support/cluster_digest.py
+++ b/tests/support/cluster_digest.py
@@ -102,7 +102,7 @@
         return [entry_values(entry) for entry in record.entries]
     if isinstance(record, Snapshot):
         body = record.body if group == FOUNDING else state_values(record.body)
-        return record.index, record.term, record.config, body
+        return record.last_included_index, record.last_included_term, record.config, body
     return record
 
 
@@ -113,23 +113,23 @@
             return (
                 message.group,
                 message.term,
-                message.previous,
-                message.previous_term,
+                message.prev_log_index,
+                message.prev_log_term,
                 [entry_values(entry) for entry in message.entries],
-                message.commit,
-                message.round,
+                message.leader_commit,
+                message.heartbeat_round,
             )
         case InstallSnapshotChunk():
             return (
                 message.group,
                 message.term,
-                message.index,
-                message.index_term,
+                message.last_included_index,
+                message.last_included_term,
                 message.config,
-                message.round,
+                message.heartbeat_round,
             )
         case InstallSnapshotChunkReply():
-            return message.group, message.term, message.index, message.round
+            return message.group, message.term, message.last_included_index, message.heartbeat_round
         case ForwardedCall():
             return message.token, message.group, body_values(message.body), message.hops
         case ForwardedReply():
@@ -146,7 +146,7 @@
             return (
                 "store",
                 effect.group,
-                effect.seq,
+                effect.sequence,
                 [record_values(one, effect.group) for one in effect.records],
             )
         case OperationCompleted():
@@ -173,7 +173,7 @@
 def saved_values(saved: PersistedGroup, group: str) -> object:
     """What a store holds of a group."""
     snapshot = None if saved.snapshot is None else record_values(saved.snapshot, group)
-    return saved.term, saved.vote, snapshot, [entry_values(entry) for entry in saved.entries]
+    return saved.current_term, saved.voted_for, snapshot, [entry_values(entry) for entry in saved.entries]
 
 
 def add_effects(digest: Digest, now: float, effects: Iterable[object]) -> None:
--- a/tests/support/cluster_history.py
+++ b/tests/support/cluster_history.py
@@ -238,14 +238,16 @@
 
 def first_snapshot(group: str) -> Snapshot:
     """What a founder stores before a group's first entry."""
-    return Snapshot(index=0, term=0, config=CONFIG, body=new_state(group).dump())
+    return Snapshot(last_included_index=0, last_included_term=0, config=CONFIG, body=new_state(group).dump())
 
 
 def write_store(folder: Path) -> ClusterStorage:
     """A store with groups of every kind, part of it still in SQLite's write-ahead log.  It stays open."""
     disk = open_store(folder, CLUSTER, MEMBER, fresh=lambda: INCARNATION)
     assert isinstance(disk, ClusterStorage), disk
-    founding = Snapshot(index=1, term=1, config=CONFIG, body=msgspec.msgpack.encode(FOUNDING))
+    founding = Snapshot(
+        last_included_index=1, last_included_term=1, config=CONFIG, body=msgspec.msgpack.encode(FOUNDING)
+    )
     disk.write([PersistRecords(FOUNDING_GROUP, 1, (founding,))])
     for group in HISTORIES:
         entries = history_entries(group)
@@ -254,7 +256,11 @@
         apply_entries(state, entries[:SNAPSHOT_AT])
         last = entries[SNAPSHOT_AT - 1]
         disk.write(
-            [PersistRecords(group, 2, (HardState(term=2, vote="a/1"), Entries(entries[:SNAPSHOT_AT])))]
+            [
+                PersistRecords(
+                    group, 2, (HardState(current_term=2, voted_for="a/1"), Entries(entries[:SNAPSHOT_AT]))
+                )
+            ]
         )
         disk.write([PersistRecords(group, 3, (Snapshot(last.index, last.term, CONFIG, state.dump()),))])
     disk._db.execute("PRAGMA wal_checkpoint(TRUNCATE)")
@@ -262,12 +268,17 @@
         disk.write(
             [
                 PersistRecords(
-                    group, 4, (HardState(term=7, vote="c/3"), Entries(history_entries(group)[SNAPSHOT_AT:]))
+                    group,
+                    4,
+                    (
+                        HardState(current_term=7, voted_for="c/3"),
+                        Entries(history_entries(group)[SNAPSHOT_AT:]),
+                    ),
                 )
             ]
         )
     change = LogEntry(index=4, term=4, kind=CHANGE, body=encode_config(CONFIG))
     start = (first_snapshot("g0"), Entries((*history_entries(OTHER)[:3], change)))
-    disk.write([PersistRecords("g0", 1, (HardState(term=4, vote="b/2"), *start))])
+    disk.write([PersistRecords("g0", 1, (HardState(current_term=4, voted_for="b/2"), *start))])
     disk.write([PersistRecords("g2", 1, start), PersistRecords("g2", 2, (DiscardGroup(),))])
     return disk
--- a/tests/support/cluster_samples.py
+++ b/tests/support/cluster_samples.py
@@ -56,31 +56,47 @@
 MESSAGES: tuple[tuple[str, messages.AnyMessage], ...] = (
     (
         "vote-request",
-        messages.RequestVote(group="g1", term=4, last_index=10, last_term=3, pre=True, lead=True),
+        messages.RequestVote(
+            group="g1", term=4, last_log_index=10, last_log_term=3, pre_vote=True, leadership_transfer=True
+        ),
     ),
-    ("vote-answer", messages.RequestVoteReply(group="g1", term=4, granted=True, pre=True)),
+    ("vote-answer", messages.RequestVoteReply(group="g1", term=4, vote_granted=True, pre_vote=True)),
     (
         "append",
         messages.AppendEntries(
-            group="g1", term=4, previous=7, previous_term=3, entries=ENTRIES, commit=6, round=12
+            group="g1",
+            term=4,
+            prev_log_index=7,
+            prev_log_term=3,
+            entries=ENTRIES,
+            leader_commit=6,
+            heartbeat_round=12,
         ),
     ),
-    ("append-answer", messages.AppendEntriesReply(group="g1", term=4, good=True, index=10, round=12)),
+    (
+        "append-answer",
+        messages.AppendEntriesReply(group="g1", term=4, success=True, index=10, heartbeat_round=12),
+    ),
     (
         "snapshot-piece",
         messages.InstallSnapshotChunk(
             group="g1",
             term=4,
-            index=7,
-            index_term=3,
+            last_included_index=7,
+            last_included_term=3,
             config=CONFIG,
-            offset=1024,
-            size=4096,
-            body=b"part of it",
-            round=13,
+            offset_bytes=1024,
+            total_bytes=4096,
+            data=b"part of it",
+            heartbeat_round=13,
+        ),
+    ),
+    (
+        "snapshot-answer",
+        messages.InstallSnapshotChunkReply(
+            group="g1", term=4, last_included_index=7, received_bytes=1034, heartbeat_round=13
         ),
     ),
-    ("snapshot-answer", messages.InstallSnapshotChunkReply(group="g1", term=4, index=7, held=1034, round=13)),
     ("leader-transfer", messages.TimeoutNow(group="g1", term=4)),
     ("forwarded-call", messages.ForwardedCall(token="a.77", group="g1", body=b"\x92call", hops=2)),
     ("forwarded-answer", messages.ForwardedReply(token="a.77", body=b"\x93answer")),
@@ -310,7 +326,9 @@
 
 
 def _envelope(name: str, to: str, *sent: messages.AnyMessage) -> Case:
-    envelope = messages.Envelope(version=messages.VERSION, fleet=CLUSTER, sender=SENDER, to=to, messages=sent)
+    envelope = messages.Envelope(
+        version=messages.PROTOCOL_VERSION, fleet=CLUSTER, sender=SENDER, to=to, messages=sent
+    )
     return Case(f"frame/{name}", envelope, _framed, _unframed)
 
 
--- a/tests/testbed/test_cluster_simulation.py
+++ b/tests/testbed/test_cluster_simulation.py
@@ -161,7 +161,7 @@
     shelf.disk.crash()
     shelf.calendar.run(100.0)
     saved = shelf.disk.start(2)["a"]
-    assert shelf.told == [RecordsPersisted("a", 1)] and (saved.term, saved.vote) == (3, "x/1")
+    assert shelf.told == [RecordsPersisted("a", 1)] and (saved.current_term, saved.voted_for) == (3, "x/1")
     assert [entry.index for entry in saved.entries] in ([1, 2, 3, 4], [1, 2, 3])
 
 
--- a/tests/testbed/test_planted_faults.py
+++ b/tests/testbed/test_planted_faults.py
@@ -13,7 +13,7 @@
 from badgeryoke.cluster.connection_limits import ConnectionLeaseHolder, ConnectionLimits
 from badgeryoke.cluster.events import OperationCompleted, PersistedGroup, RecordsPersisted, SendMessage
 from badgeryoke.cluster.key_value import PutValue
-from badgeryoke.cluster.messages import GroupConfiguration, RequestVoteReply
+from badgeryoke.cluster.messages import GroupConfiguration, RequestVote, RequestVoteReply
 from badgeryoke.cluster.raft.node import RaftNode, Role
 from badgeryoke.cluster.rolling_restart.restart import (
     STEPS,
@@ -46,30 +46,30 @@
 def unstored_vote(patch: pytest.MonkeyPatch) -> None:
     """A vote is told before it is stored, and the code's own check sleeps: the referee compares with the
     disk."""
-    whole = RaftNode._tell_stored
+    whole = RaftNode._send_when_persisted
 
     def told(self: RaftNode, to: str, message: Any) -> None:
         if isinstance(message, RequestVoteReply):
-            self._out.append(SendMessage(to, message))
+            self._effects.append(SendMessage(to, message))
         else:
             whole(self, to, message)
 
-    patch.setattr(RaftNode, "_tell_stored", told)
+    patch.setattr(RaftNode, "_send_when_persisted", told)
 
 
 def unstored_entries(patch: pytest.MonkeyPatch) -> None:
     """What is told when it is stored is told at once: the code's own check finds it."""
-    patch.setattr(RaftNode, "_tell_stored", RaftNode._tell)
+    patch.setattr(RaftNode, "_send_when_persisted", RaftNode._send)
 
 
 def older_terms(patch: pytest.MonkeyPatch) -> None:
     """Copies of an older term's entry are counted."""
-    patch.setattr(RaftNode, "_may_count", lambda self, index: True)
+    patch.setattr(RaftNode, "_is_entry_of_current_term", lambda self, index: True)
 
 
 def votes_twice(patch: pytest.MonkeyPatch) -> None:
     """A member votes for whoever asks."""
-    patch.setattr(RaftNode, "_may_vote", lambda self, who: True)
+    patch.setattr(RaftNode, "_may_grant_vote", lambda self, who: True)
 
 
 def forgotten_vote(patch: pytest.MonkeyPatch) -> None:
@@ -77,7 +77,7 @@
     whole = Disk.start
 
     def start(self: Disk, life: int) -> dict[str, PersistedGroup]:
-        return {name: replace(saved, vote="") for name, saved in whole(self, life).items()}
+        return {name: replace(saved, voted_for="") for name, saved in whole(self, life).items()}
 
     patch.setattr(Disk, "start", start)
 
@@ -88,7 +88,7 @@
 
     def start(self: Disk, life: int) -> dict[str, PersistedGroup]:
         return {
-            name: replace(saved, term=saved.entries[-1].term if saved.entries else 0, vote="")
+            name: replace(saved, current_term=saved.entries[-1].term if saved.entries else 0, voted_for="")
             for name, saved in whole(self, life).items()
         }
 
@@ -102,7 +102,7 @@
         self._under_way, self._asked = self._asked, []
         for store in self._under_way:
             self._calendar.at(
-                self._calendar.now, self._tell, self._life, RecordsPersisted(store.group, store.seq)
+                self._calendar.now, self._tell, self._life, RecordsPersisted(store.group, store.sequence)
             )
         self._calendar.at(self._calendar.now + 30.0, self._quietly, self._life)  # type: ignore[attr-defined]
 
@@ -120,14 +120,14 @@
 
 def applied_twice(patch: pytest.MonkeyPatch) -> None:
     """After a change of leader its last entry is applied again."""
-    whole = RaftNode._begin_lead
+    whole = RaftNode._become_leader
 
     def begin(self: RaftNode, now: float) -> None:
-        if self.applied > self._log.base:
-            self.applied -= 1
+        if self.last_applied > self._log.base_index:
+            self.last_applied -= 1
         whole(self, now)
 
-    patch.setattr(RaftNode, "_begin_lead", begin)
+    patch.setattr(RaftNode, "_become_leader", begin)
 
 
 def ids_forgotten(patch: pytest.MonkeyPatch) -> None:
@@ -139,37 +139,42 @@
     """Who believes that it leads answers reads at once, and goes on believing it unheard."""
 
     def read(self: RaftNode, now: float, token: str) -> None:
-        error = self._refusal(0)
-        self._out.append(OperationCompleted(token, error))
+        error = self._rejection(0)
+        self._effects.append(OperationCompleted(token, error))
 
-    patch.setattr(RaftNode, "_read", read)
-    patch.setattr(RaftNode, "_has_quorum", lambda self, now: True)
+    patch.setattr(RaftNode, "_handle_read", read)
+    patch.setattr(RaftNode, "_heard_from_quorum", lambda self, now: True)
 
 
 def short_logs(patch: pytest.MonkeyPatch) -> None:
     """A vote is given whatever the asker's log lacks."""
-    whole = RaftNode._on_ask
+    whole = RaftNode._handle_request_vote
 
-    def ask(self: RaftNode, now: float, who: str, said: Any) -> None:
-        whole(self, now, who, type(said)(said.group, said.term, 1 << 40, 1 << 40, said.pre, said.lead))
+    def ask(self: RaftNode, now: float, who: str, said: RequestVote) -> None:
+        whole(
+            self,
+            now,
+            who,
+            RequestVote(said.group, said.term, 1 << 40, 1 << 40, said.pre_vote, said.leadership_transfer),
+        )
 
-    patch.setattr(RaftNode, "_on_ask", ask)
+    patch.setattr(RaftNode, "_handle_request_vote", ask)
 
 
 def cuts_all(patch: pytest.MonkeyPatch) -> None:
     """An append cuts the log behind it, also one that came late."""
-    whole = RaftNode._take
+    whole = RaftNode._append_entries
 
     def take(self: RaftNode, entries: tuple[Any, ...]) -> bool:
         if (
             entries
-            and self._log.base < entries[0].index <= self._log.last
-            and not self._cut(entries[0].index)
+            and self._log.base_index < entries[0].index <= self._log.last_index
+            and not self._truncate(entries[0].index)
         ):
             return False
         return whole(self, entries)
 
-    patch.setattr(RaftNode, "_take", take)
+    patch.setattr(RaftNode, "_append_entries", take)
 
 
 def minority(patch: pytest.MonkeyPatch) -> None:
@@ -201,17 +206,20 @@
 
 def learners_count(patch: pytest.MonkeyPatch) -> None:
     """What a learner has stored counts for a majority."""
-    whole = RaftNode._advance
+    whole = RaftNode._advance_commit_index
 
     def advance(self: RaftNode, now: float) -> None:
         whole(self, now)
         if self.config.learners and self.role is Role.LEADER:
-            most = sorted((self._safe_index, *(peer.match for peer in self._peers.values())), reverse=True)
+            most = sorted(
+                (self._persisted_index, *(peer.match_index for peer in self._followers.values())),
+                reverse=True,
+            )
             at = most[self.config.majority() - 1]
-            if self._may_count(at):
-                self._commit_to(now, min(at, self._log.last))
+            if self._is_entry_of_current_term(at):
+                self._commit_up_to(now, min(at, self._log.last_index))
 
-    patch.setattr(RaftNode, "_advance", advance)
+    patch.setattr(RaftNode, "_advance_commit_index", advance)
 
 
 def no_clock_margin(patch: pytest.MonkeyPatch) -> None:
