--- a/badgeryoke/cluster/events.py
+++ b/badgeryoke/cluster/events.py
@@ -1,20 +1,20 @@
-"""What comes into the decisions of the fleet, and what they ask to be done: values alone."""
+"""Events that the cluster's code takes in, and effects that it asks its caller to carry out: values only."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import StrEnum
 from typing import Any
 
 from badgeryoke.cluster.errors import ClusterError
 from badgeryoke.cluster.messages import AnyMessage, GroupConfiguration, LogEntry, MemberId
 
-# What a store keeps of one group
-# -------------------------------------------------------------------------------------
+# Records of one group on stable storage
 
 
 @dataclass(frozen=True, slots=True)
 class HardState:
-    """Term and vote; replaces the one before."""
+    """Term and vote (paper, figure 2); replaces the record before."""
 
     current_term: int
     voted_for: MemberId
@@ -22,14 +22,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Entries:
-    """Entries at the end of the log; what lies at or behind the first one's index goes."""
+    """Entries at the end of the log; they replace all from the first one's index on."""
 
     entries: tuple[LogEntry, ...]
 
 
 @dataclass(frozen=True, slots=True)
 class Snapshot:
-    """All up to an index, in place of the entries up to there."""
+    """The state up to `last_included_index`, in place of the entries up to there; `body` is the state machine's."""
 
     last_included_index: int
     last_included_term: int
@@ -39,7 +39,7 @@
 
 @dataclass(frozen=True, slots=True)
 class DiscardGroup:
-    """The group is not kept here any more."""
+    """The member keeps no replica of the group any more."""
 
 
 Record = HardState | Entries | Snapshot | DiscardGroup
@@ -47,7 +47,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PersistedGroup:
-    """What a store gives back of one group at a start."""
+    """What stable storage returns of one group when the process starts."""
 
     current_term: int = 0
     voted_for: MemberId = ""
@@ -56,12 +56,11 @@
 
 
 # Effects of a replica, and of the node that holds many
-# ---------------------------------------------------------------
 
 
 @dataclass(frozen=True, slots=True)
 class SendMessage:
-    """Tell a member.  Lost, late and out of order are all allowed for; twice as well."""
+    """Send a message to a member.  It may be lost, late, out of order or duplicated."""
 
     to: MemberId
     message: AnyMessage
@@ -69,9 +68,10 @@
 
 @dataclass(frozen=True, slots=True)
 class PersistRecords:
-    """Put records on stable storage, in order, then come back with Stored(group, seq).  Several may be
-    out; the shell may put many groups' under one fsync.  They are answered in the order in which they were
-    asked."""
+    """Put records on stable storage, in order, then report `RecordsPersisted(group, sequence)`.
+
+    Several may be open, and many groups' may share one fsync; they are reported in the order of the effects.
+    """
 
     group: str
     sequence: int
@@ -80,35 +80,34 @@
 
 @dataclass(frozen=True, slots=True)
 class OperationCompleted:
-    """A proposal, a read or a change of members has come to its end: the machine's result, or why not."""
+    """A proposal, a read or a membership change has ended: the state machine's result, or a `ClusterError`."""
 
     token: str
-    result: Any
+    result: Any  # each state machine has its own result type
 
 
 @dataclass(frozen=True, slots=True)
 class LogEvent:
-    """A line for the operators: a level of logging, an event's name, and its fields."""
+    """A line in the operators' log: its level, the event's name, and its fields."""
 
     level: str
     event: str
-    fields: dict[str, Any]
+    fields: dict[str, Any]  # any value that the log format renders
 
 
 Effect = SendMessage | PersistRecords | OperationCompleted | LogEvent
 
 # Events of a replica
-# --------------------------------------------------------------------------------------------------
 
 
 @dataclass(frozen=True, slots=True)
 class Tick:
-    """Time has gone on."""
+    """The time that was asked for by `due_ms` has come."""
 
 
 @dataclass(frozen=True, slots=True)
 class MessageReceived:
-    """A message to this Id from that one."""
+    """A message from another member has arrived."""
 
     sender: MemberId
     message: AnyMessage
@@ -116,7 +115,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RecordsPersisted:
-    """Store(group, seq) is on stable storage."""
+    """The records of `PersistRecords(group, sequence)` are on stable storage."""
 
     group: str
     sequence: int
@@ -124,14 +123,14 @@
 
 @dataclass(frozen=True, slots=True)
 class StorageFailure:
-    """The store takes nothing more: this member promises nothing from here on."""
+    """Stable storage has failed: this member answers nothing from here on."""
 
     error: ClusterError
 
 
 @dataclass(frozen=True, slots=True)
 class ProposeCommand:
-    """Put a command into the log; Done(token, what the machine gave for it) when it is applied here."""
+    """Append a command to the log; `OperationCompleted` bears the state machine's result once it is applied."""
 
     token: str
     body: bytes
@@ -139,24 +138,31 @@
 
 @dataclass(frozen=True, slots=True)
 class ReadIndexRequest:
-    """Done(token, None) once all that was acknowledged before this moment is applied here (read index)."""
+    """`OperationCompleted(token, None)` once all that was acknowledged before is applied here (read index)."""
 
     token: str
 
 
+class MembershipAction(StrEnum):
+    """What a membership change does with the member."""
+
+    LEARN = "learn"  # add it as a learner
+    PROMOTE = "promote"  # make the learner a voter
+    REMOVE = "remove"
+
+
 @dataclass(frozen=True, slots=True)
 class ChangeMembership:
-    """Take `who` in as a learner, make a learner a voter, or let one go; refused while another change is
-    under way."""
+    """Change the group's configuration by one member; rejected while another change is in flight."""
 
     token: str
-    action: str  # "learn", "promote" or "remove"
+    action: MembershipAction
     member: MemberId
 
 
 @dataclass(frozen=True, slots=True)
 class TransferLeadership:
-    """Let another lead: `to`, or whoever has most where it is empty."""
+    """Transfer leadership to `target`, or to the most up-to-date voter where it is empty."""
 
     target: MemberId = ""
 
@@ -173,21 +179,22 @@
 )
 
 # Further events of a node
-# ---------------------------------------------------------------------------------------------
 
 
 @dataclass(frozen=True, slots=True)
 class ClusterCall:
-    """The operators' FLEET call, or a part of this gateway: a command for the group that holds its key.
-    The node answers with Done(token, ...) exactly once, within `call_ms`."""
+    """A command for the group that holds its key, from the operators' FLEET call or from this gateway.
+
+    The node answers with `OperationCompleted` exactly once, within `Timings.call_ms`.
+    """
 
     token: str
-    command: Any  # a badgeryoke.cluster.state_machine.part.Command
+    command: Any  # a state_machine.part.Command; importing that here would be a cycle
 
 
 @dataclass(frozen=True, slots=True)
 class LeaveCluster:
-    """This process ends in order: it hands its groups over, then says so with Done(token, None)."""
+    """Graceful shutdown: leadership of all groups is transferred, then `OperationCompleted(token, None)`."""
 
     token: str
 
--- a/badgeryoke/cluster/messages.py
+++ b/badgeryoke/cluster/messages.py
@@ -1,35 +1,53 @@
-"""What gateways tell each other, as values: one message is one msgspec Struct, tagged by its name.
+"""Messages between gateways: one message is one msgspec Struct.
 
-A member is named in the operators' file; a member *as it is now* is its `Id`, "name/incarnation": the
-incarnation is drawn anew whenever its store is.  Votes and acknowledgements belong to an Id, never to a name.
+On the wire a message is a MessagePack array of its tag and its fields in order, so the order and types of
+fields and the tags are fixed, while names of fields and types may change.
+
+A member is named in the operators' file; a member *as it is now* is its `MemberId`, "name/incarnation": the
+incarnation is drawn anew whenever its store is.  Votes and acknowledgements belong to a member id, never to a
+name.
 """
 
 from __future__ import annotations
 
+from enum import IntEnum
+
 import msgspec
 
 PROTOCOL_VERSION = 1
 MemberId = str  # "name/incarnation"
 
 
-def member_name(who: MemberId) -> str:
+def member_name(member: MemberId) -> str:
     """The member's name in the operators' file."""
-    return who.partition("/")[0]
+    return member.partition("/")[0]
 
 
 class GroupConfiguration(msgspec.Struct, frozen=True, array_like=True):
-    """Who holds copies of a group.  Learners are sent everything and counted for nothing."""
+    """The members that hold a replica of a group.  Learners receive all entries and have no vote."""
 
     voters: tuple[MemberId, ...]
     learners: tuple[MemberId, ...] = ()
 
     def majority(self) -> int:
-        """So many voters are one."""
+        """The smallest number of voters that is a quorum."""
         return len(self.voters) // 2 + 1
 
 
+class EntryKind(IntEnum):
+    """What a log entry holds.  The numbers are on the wire and on disk."""
+
+    NOTHING = 0  # the first entry of a new leader (paper, 8)
+    COMMAND = 1  # for the state machine
+    CONFIG = 2  # a `GroupConfiguration` in MessagePack
+
+
 class LogEntry(msgspec.Struct, frozen=True, array_like=True):
-    """One entry of a log.  `kind`: 0 nothing (a new leader's first), 1 a command, 2 a Config."""
+    """One entry of a log.
+
+    `kind` is an `EntryKind`.  It is declared an int, so that an entry of a kind that this version does not
+    know still decodes; it is then applied without effect.
+    """
 
     index: int
     term: int
@@ -37,24 +55,24 @@
     body: bytes
 
 
-NOTHING, COMMAND, CONFIG = range(3)
-
-
 class Message(msgspec.Struct, frozen=True, tag=True, array_like=True):
-    """Any message.  Each states its tag, which is on the wire: the name of the type may change, the tag
-    may not."""
+    """Any message.  Each states its tag, which is on the wire."""
 
 
 class GroupMessage(Message, frozen=True):
-    """Of one group's replication."""
+    """A message of one group's replication; `term` is the sender's current term, except in a pre-vote."""
 
     group: str
     term: int
 
 
 class RequestVote(GroupMessage, frozen=True, tag="Ask"):
-    """For a vote; `pre`: only whether one would be given (pre-vote, nothing is stored by it).  `lead`: the
-    leader has handed over, so that who has heard a leader lately votes all the same."""
+    """A candidate requests a vote (paper, 5.2).
+
+    `pre_vote`: the candidate only polls whether a vote would be granted in the next term, which `term` then
+    is; nothing is persisted by it (dissertation, 9.6).  `leadership_transfer`: the leader has transferred its
+    leadership, so that members that have just heard a leader vote all the same (dissertation, 4.2.3).
+    """
 
     last_log_index: int
     last_log_term: int
@@ -63,14 +81,17 @@
 
 
 class RequestVoteReply(GroupMessage, frozen=True, tag="Vote"):
-    """The answer to Ask."""
+    """The reply to `RequestVote`."""
 
     vote_granted: bool
     pre_vote: bool
 
 
 class AppendEntries(GroupMessage, frozen=True, tag="Append"):
-    """Entries behind `previous`; none: a heartbeat.  `round` comes back, for reads."""
+    """The leader's entries after `prev_log_index`; without entries it is a heartbeat (paper, 5.3).
+
+    `heartbeat_round` comes back in the reply and confirms reads (dissertation, 6.4).
+    """
 
     prev_log_index: int
     prev_log_term: int
@@ -80,7 +101,11 @@
 
 
 class AppendEntriesReply(GroupMessage, frozen=True, tag="Appended"):
-    """The answer: what is on stable storage here.  Refused: `index` is where to try next."""
+    """The reply to `AppendEntries`, and to the last chunk of a snapshot.
+
+    `index`: on success, up to where the follower's persisted log matches; otherwise the index that the leader
+    has to send next.
+    """
 
     success: bool
     index: int
@@ -88,7 +113,7 @@
 
 
 class InstallSnapshotChunk(GroupMessage, frozen=True, tag="Piece"):
-    """A piece of a snapshot up to (`index`, `index_term`), from byte `offset` of `size`."""
+    """Part of a snapshot, from byte `offset_bytes` of `total_bytes` (paper, figure 13)."""
 
     last_included_index: int
     last_included_term: int
@@ -100,7 +125,7 @@
 
 
 class InstallSnapshotChunkReply(GroupMessage, frozen=True, tag="PieceTaken"):
-    """The bytes held of the snapshot up to `index`."""
+    """The reply to a chunk: how much of the snapshot the follower has received."""
 
     last_included_index: int
     received_bytes: int
@@ -108,11 +133,11 @@
 
 
 class TimeoutNow(GroupMessage, frozen=True, tag="Lead"):
-    """The leader hands over: stand for election at once."""
+    """The leader transfers its leadership: start an election at once (dissertation, 3.10)."""
 
 
 class ForwardedCall(Message, frozen=True, tag="Forward"):
-    """A call on its way to the leader of the group that holds `key`."""
+    """A call forwarded to the leader of its group; `hops`: how often it has been forwarded."""
 
     token: str
     group: str
@@ -121,15 +146,18 @@
 
 
 class ForwardedReply(Message, frozen=True, tag="Reply"):
-    """What became of a Forward: `body` is a `Result` in MessagePack."""
+    """The reply to `ForwardedCall`; `body` is the result in MessagePack."""
 
     token: str
     body: bytes
 
 
 class Ping(Message, frozen=True, tag="Ping"):
-    """SWIM's probe.  `target`: who is meant (a restarted process answers for nobody else).  `wall`: the
-    sender's clock, Unix ms, 0 where it does not say."""
+    """The probe of SWIM (Das, Gupta and Motivala, 2002).
+
+    `target`: the member that is probed (a restarted process answers for nobody else).  `wall`: the sender's
+    wall clock, Unix ms, 0 where it reports none.
+    """
 
     seq: int
     target: MemberId
@@ -138,7 +166,7 @@
 
 
 class Ack(Message, frozen=True, tag="Ack"):
-    """Its answer; `target`: who was alive."""
+    """The reply to `Ping`, directly or through a proxy; `target`: the member that is alive."""
 
     seq: int
     target: MemberId
@@ -147,8 +175,8 @@
 
 
 class PingRequest(Message, frozen=True, tag="PingFor"):
-    """Probe `target` for me (SWIM's indirect probe).  A proxy that hears nothing says so with Nack
-    (Lifeguard)."""
+    """Probe `target` on behalf of the sender (SWIM's indirect probe).  A proxy that hears nothing replies
+    with `Nack` (Lifeguard; Dadgar, Phillips and Currey, 2017)."""
 
     seq: int
     target: MemberId
@@ -156,7 +184,7 @@
 
 
 class Nack(Message, frozen=True, tag="Nack"):
-    """The proxy lives, and has heard nothing of the target."""
+    """The proxy is alive, and has heard nothing of the target."""
 
     seq: int
     target: MemberId
@@ -164,8 +192,8 @@
 
 
 class GossipUpdate(msgspec.Struct, frozen=True, array_like=True):
-    """What is told of a member: `state` 0 alive, 1 suspected, 2 dead, 3 left; `count` is its own, and
-    grows when it refutes a suspicion; `by` is who suspects it."""
+    """Gossip about a member: `state` 0 alive, 1 suspected, 2 dead, 3 left; `count` is SWIM's incarnation
+    number, which the member itself raises to refute a suspicion; `by` is the member that suspects it."""
 
     who: MemberId
     state: int
@@ -174,20 +202,22 @@
 
 
 class IdentityQuery(Message, frozen=True, tag="WhoAreYou"):
-    """A member without a founding asks."""
+    """A member without a bootstrap record polls for one."""
 
     sender_hall: str
 
 
 class Announce(Message, frozen=True, tag="IAm"):
-    """The answer; `founding`: the record (MessagePack), empty where there is none yet."""
+    """The reply to `IdentityQuery`; `founding`: the bootstrap record (MessagePack), empty where there is
+    none yet."""
 
     hall: str
     founding: bytes
 
 
 class ClusterFounded(Message, frozen=True, tag="Found"):
-    """The founder tells the record; taken only by one that has none and is named in it."""
+    """The founder distributes the bootstrap record; accepted only by a member that has none and is named in
+    it."""
 
     founding: bytes
 
@@ -213,10 +243,11 @@
 
 
 class Envelope(msgspec.Struct, frozen=True, array_like=True):
-    """What one frame on a link holds.  `to`: the Id that is meant, empty where only the name is known."""
+    """The content of one frame on a connection.  `to`: the receiver's member id, empty where only its name is
+    known."""
 
     version: int
-    fleet: str  # its name
+    fleet: str  # the name of the cluster
     sender: MemberId
     to: MemberId
     messages: tuple[AnyMessage, ...]
--- a/badgeryoke/cluster/placement/directory.py
+++ b/badgeryoke/cluster/placement/directory.py
@@ -27,9 +27,9 @@
 
 from badgeryoke.cluster.bootstrap import MOST_MEMBERS, BootstrapRecord
 from badgeryoke.cluster.errors import InvalidCall, NotFound, Overloaded, StaleIncarnation, WrongState
-from badgeryoke.cluster.events import ChangeMembership, PersistedGroup
+from badgeryoke.cluster.events import ChangeMembership, MembershipAction, PersistedGroup
 from badgeryoke.cluster.invariants import Invariants, Rule
-from badgeryoke.cluster.messages import CONFIG, NOTHING, GroupConfiguration, LogEntry, MemberId, member_name
+from badgeryoke.cluster.messages import EntryKind, GroupConfiguration, LogEntry, MemberId, member_name
 from badgeryoke.cluster.raft.log import RaftLog, encode_config
 from badgeryoke.cluster.state_machine.part import FLEET, ApplyResult, Command, LeaderView
 from badgeryoke.cluster.timings import Timings
@@ -371,7 +371,7 @@
         )
         if act != "learn" and sum(one in alive for one in voters) < GroupConfiguration(voters).majority():
             return None  # it could acknowledge nothing with that
-        return ChangeMembership(f"{act}:{group}:{who}", act, who)
+        return ChangeMembership(f"{act}:{group}:{who}", MembershipAction(act), who)
 
     def _next(
         self, group: str, config: GroupConfiguration, behind: tuple[MemberId, ...]
@@ -586,10 +586,15 @@
     for who in lost:  # one at a time, as every change of members
         voters = tuple(one for one in voters if one != who)
         made.append(
-            LogEntry(log.base_index + len(made) + 1, term, CONFIG, encode_config(GroupConfiguration(voters)))
+            LogEntry(
+                log.base_index + len(made) + 1,
+                term,
+                EntryKind.CONFIG,
+                encode_config(GroupConfiguration(voters)),
+            )
         )
     note = msgspec.msgpack.encode(
         {"forced": group, "survivor": survivor, "lost": lost, "at_ms": math.floor(now)}
     )
-    made.append(LogEntry(log.base_index + len(made) + 1, term, NOTHING, note))
+    made.append(LogEntry(log.base_index + len(made) + 1, term, EntryKind.NOTHING, note))
     return PersistedGroup(term, survivor, saved.snapshot, tuple(made))
--- /dev/null
+++ b/badgeryoke/cluster/raft/state.py
@@ -0,0 +1,304 @@
+"""The state of one Raft replica, and the types that its parts share.
+
+`RaftState` holds every field of the replica.  The modules beside it (`election`, `log_replication`,
+`follower_log`, `snapshot_transfer`, `membership_change`, `leadership_transfer`, `read_index`, `persistence`)
+each add the methods of one part of the algorithm, and `node.RaftNode` puts them together.  A step that one
+part needs of another is declared here as an abstract method.
+
+Names follow the Raft paper (Ongaro and Ousterhout, "In Search of an Understandable Consensus Algorithm
+(Extended Version)", 2014, figure 2).  Times are milliseconds of the caller's monotonic clock.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from abc import ABC, abstractmethod
+from collections import deque
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+from badgeryoke.cluster.errors import ClusterError, InvariantBroken, NoLeader, Overloaded
+from badgeryoke.cluster.events import (
+    Effect,
+    LogEvent,
+    OperationCompleted,
+    PersistedGroup,
+    Record,
+    Snapshot,
+)
+from badgeryoke.cluster.invariants import Invariants, Rule
+from badgeryoke.cluster.messages import (
+    EntryKind,
+    GroupConfiguration,
+    MemberId,
+)
+from badgeryoke.cluster.raft.log import RaftLog
+from badgeryoke.cluster.raft.state_types import (
+    FollowerProgress,
+    IncomingSnapshot,
+    OpenWrite,
+    PendingTransfer,
+    RaftMessage,
+    ReplicatedStateMachine,
+    Role,
+)
+from badgeryoke.cluster.timings import Timings
+
+MAX_OPEN_WRITES = 1024  # writes to stable storage without an answer; a leader then rejects proposals
+
+Figure = TypeVar("Figure", int, float)
+
+
+class RaftState(ABC):
+    """All fields of a replica, and what every part of the algorithm needs.
+
+    `due_ms`: when the next `Tick` has to come at the latest (inf for never).
+    """
+
+    def __init__(
+        self,
+        group: str,
+        member_id: MemberId,
+        saved: PersistedGroup,
+        state_machine: ReplicatedStateMachine,
+        timings: Timings,
+        rng: random.Random,
+        invariants: Invariants,
+        now_ms: float,
+        initial_config: GroupConfiguration | None = None,
+    ) -> None:
+        """`initial_config` counts only where `saved` is empty.
+
+        Raises ValueError where the records in `saved` are inconsistent.
+        """
+        self.group, self.member_id = group, member_id
+        self._state_machine, self._timings, self._rng = state_machine, timings, rng
+        self._invariants = invariants
+        self._effects: list[Effect] = []
+        self.current_term, self.voted_for = saved.current_term, saved.voted_for
+        self.role = Role.FOLLOWER
+        self.leader_id: MemberId = ""
+        self.leading = False  # whether it leads and has committed an entry of its own term
+        self.leader_since_ms = 0.0
+        self.stop_reason: ClusterError | None = None  # why this replica answers nothing more
+        self._records: list[Record] = []  # to be persisted by the next write
+        self._load_log(now_ms, saved, initial_config)
+        self.commit_index = self.last_applied = self._log.base_index
+        self._was_member = False  # whether a committed configuration has had this member
+        self._note_membership()
+        self._init_persistence_state()
+        self._init_follower_state(now_ms)
+        self._init_leader_state()
+        self.due_ms = math.inf
+        self._update_due()
+
+    def _load_log(self, now_ms: float, saved: PersistedGroup, initial: GroupConfiguration | None) -> None:
+        self._latest_snapshot = saved.snapshot
+        if initial is not None and saved == PersistedGroup():
+            self._log = RaftLog(0, 0, initial)
+            self._latest_snapshot = Snapshot(0, 0, initial, self._state_machine.dump())
+            self._records.append(self._latest_snapshot)
+            return
+        self._log = RaftLog.load(saved)
+        if saved.snapshot is not None:
+            self._state_machine.restore(now_ms, saved.snapshot.body)
+
+    def _init_persistence_state(self) -> None:
+        """What stable storage has confirmed, so far as the log here still says the same."""
+        self._persisted_index = self._log.last_index
+        self._persisted_term, self._persisted_vote = self.current_term, self.voted_for
+        self._last_sequence = self._persisted_sequence = 0
+        self._open_writes: deque[OpenWrite] = deque()
+        self._withheld_messages: deque[tuple[int, MemberId, RaftMessage]] = deque()  # sequence, to, message
+
+    def _init_follower_state(self, now_ms: float) -> None:
+        """What counts while this replica is a follower or a candidate."""
+        self._leader_heard_ms = -math.inf
+        self._leader_commit = math.inf  # as the leader last reported it; infinite before its first message
+        self._election_timeout_ms = self._random_election_timeout_ms()
+        self._election_deadline_ms = now_ms + self._election_timeout_ms
+        self._votes: dict[MemberId, None] = {}  # members that granted theirs
+        self._incoming_snapshot: IncomingSnapshot | None = None
+        self._confirmed_round = 0  # the latest heartbeat round that was replied to
+        self._latest_leader: tuple[int, MemberId] = (0, "")  # of the latest term with a known leader
+
+    def _init_leader_state(self) -> None:
+        """What counts while this replica leads."""
+        self._followers: dict[MemberId, FollowerProgress] = {}
+        self._pending: dict[int, str] = {}  # tokens of proposals and membership changes by log index
+        self._round_reads: deque[tuple[int, str]] = deque()  # heartbeat round to be confirmed, token
+        self._waiting_reads: list[str] = []  # tokens of reads that wait for the next round
+        self._heartbeat_round = 0
+        self._next_heartbeat_ms = math.inf
+        self._last_heartbeat_ms = -math.inf
+        self._first_index_of_term = 0
+        self._quorum_until_ms = -math.inf
+        self._transfer: PendingTransfer | None = None
+
+    # Queries
+
+    @property
+    def config(self) -> GroupConfiguration:
+        """The configuration in force here, committed or not; empty at a new member that knows none."""
+        return self._log.config or GroupConfiguration(())
+
+    @property
+    def config_index(self) -> int:
+        """The log index of the configuration in force; it is committed once `commit_index` reaches it."""
+        return self._log.config_index
+
+    @property
+    def last_log_index(self) -> int:
+        """The index of the last log entry."""
+        return self._log.last_index
+
+    @property
+    def _last_log_term(self) -> int:
+        return self._log.term_at(self._log.last_index)
+
+    def _is_member(self, member: MemberId) -> bool:
+        return member in self.config.voters or member in self.config.learners
+
+    def _random_election_timeout_ms(self) -> float:
+        """Between once and twice `Timings.election_ms` (paper, 5.2)."""
+        return self._timings.election_ms * (1.0 + self._rng.random())
+
+    def _reached_by_quorum(self, own: Figure, of: Callable[[FollowerProgress], Figure]) -> Figure:
+        """The greatest figure that a majority of the voters has reached, by the leader's knowledge."""
+        figures = (
+            own if voter == self.member_id else of(self._followers[voter]) for voter in self.config.voters
+        )
+        return sorted(figures, reverse=True)[self.config.majority() - 1]
+
+    # Effects
+
+    def _complete(self, token: str, result: Any) -> None:  # the state machine's result, or a ClusterError
+        self._effects.append(OperationCompleted(token, result))
+
+    def _log_event(self, level: str, event: str, **fields: Any) -> None:  # fields as in LogEvent
+        self._effects.append(
+            LogEvent(level, event, {"group": self.group, "term": self.current_term, **fields})
+        )
+
+    def _check(self, rule: Rule, holds: bool, facts: Callable[[], str]) -> bool:
+        """Check an invariant; where it is broken this replica stops."""
+        if holds or self._invariants.check(rule, False, facts):
+            return True
+        self._stop(InvariantBroken(self.group, rule.value))
+        return False
+
+    def _rejection(self, in_flight: int) -> ClusterError | None:
+        """Why an operation is rejected now, where so many of its sort are in flight."""
+        if self.role is not Role.LEADER:
+            known = f"the leader is {self.leader_id}" if self.leader_id else "no leader is known"
+            return NoLeader(self.group, known)
+        if self._transfer is not None:
+            return NoLeader(self.group, f"the lead goes to {self._transfer.target}")
+        if in_flight >= self._timings.most_in_flight or len(self._open_writes) >= MAX_OPEN_WRITES:
+            return Overloaded(self.group, f"{in_flight} are under way")
+        return None
+
+    def _note_membership(self) -> None:
+        config = None if self._was_member else self._log.config_at(self.commit_index)
+        self._was_member = self._was_member or (
+            config is not None and self.member_id in config.voters + config.learners
+        )
+
+    def _update_due(self) -> None:
+        """Set `due_ms`, once an event has been handled."""
+        if self.stop_reason is not None:
+            self.due_ms = math.inf
+        elif self.role is Role.LEADER:
+            transfer_ms = math.inf if self._transfer is None else self._transfer.deadline_ms
+            self.due_ms = min(self._next_heartbeat_ms, transfer_ms)
+        elif self.member_id in self.config.voters:
+            self.due_ms = self._election_deadline_ms
+        else:
+            self.due_ms = math.inf
+
+    # Steps that one part of the algorithm needs of another
+
+    @abstractmethod
+    def _stop(self, error: ClusterError) -> None:
+        """Answer nothing from here on, for this reason."""
+
+    @abstractmethod
+    def _become_follower(self, now_ms: float, term: int, leader: MemberId = "") -> None:
+        """Follow in a term, that leader where it is known."""
+
+    @abstractmethod
+    def _note_leader(self, term: int, leader: MemberId) -> bool:
+        """Remember who leads a term; False where another was seen to lead it."""
+
+    @abstractmethod
+    def _become_leader(self, now_ms: float) -> None:
+        """Lead in the current term."""
+
+    @abstractmethod
+    def _end_leadership(self) -> None:
+        """Drop the leader's state and end the operations in flight."""
+
+    @abstractmethod
+    def _append_as_leader(self, kind: EntryKind, body: bytes) -> int:
+        """Append an entry of the current term; its index."""
+
+    @abstractmethod
+    def _send_heartbeat_round(self, now_ms: float) -> None:
+        """Start a new heartbeat round."""
+
+    @abstractmethod
+    def _replicate_to(
+        self, now_ms: float, member: MemberId, progress: FollowerProgress, heartbeat: bool = False
+    ) -> None:
+        """Send a member what it lacks."""
+
+    @abstractmethod
+    def _note_reply(
+        self, now_ms: float, sender: MemberId, term: int, heartbeat_round: int
+    ) -> FollowerProgress | None:
+        """The progress of a member that replies to this leader; None where the reply does not count."""
+
+    @abstractmethod
+    def _commit_up_to(self, now_ms: float, index: int) -> None:
+        """Move the commit index and apply what is committed by it."""
+
+    @abstractmethod
+    def _track_followers(self, now_ms: float) -> None:
+        """Keep progress of every member of the configuration."""
+
+    @abstractmethod
+    def _check_single_change(self, before: GroupConfiguration) -> bool:
+        """Check that the configuration differs by one voter at most."""
+
+    @abstractmethod
+    def _finish_config_change(self, now_ms: float) -> None:
+        """Act on a configuration that has been committed."""
+
+    @abstractmethod
+    def _complete_reads(self, now_ms: float) -> None:
+        """End the reads whose round a majority has confirmed."""
+
+    @abstractmethod
+    def _most_up_to_date_voter(self, now_ms: float) -> MemberId:
+        """The best successor of this leader; empty where there is none."""
+
+    @abstractmethod
+    def _continue_transfer(self, resend: bool = False) -> None:
+        """Notify the target of a transfer once it has every entry."""
+
+    @abstractmethod
+    def _accept_leader(self, now_ms: float, sender: MemberId, term: int, heartbeat_round: int) -> bool:
+        """Whether the sender leads the current term, or a later one; it is followed then."""
+
+    @abstractmethod
+    def _acknowledge(self, leader: MemberId, match_index: int, heartbeat_round: int) -> None:
+        """Reply to the leader with what matches, once that is persisted."""
+
+    @abstractmethod
+    def _send_snapshot_chunk(self, member: MemberId, progress: FollowerProgress) -> None:
+        """Send the next chunk of a snapshot."""
+
+    @abstractmethod
+    def _compact_log(self) -> None:
+        """Replace the applied entries by a snapshot."""
--- a/badgeryoke/cluster/timings.py
+++ b/badgeryoke/cluster/timings.py
@@ -9,7 +9,7 @@
 class Timings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Defaults for machines of one site (some ms apart)."""
 
-    # where a leader has nothing new, one falls out of two (badgeryoke/cluster/raft/node.py, QUIET)
+    # where a leader has nothing new, one falls out of two (raft/log_replication.py, MIN_HEARTBEATS_PER_ELECTION_TIMEOUT)
     heartbeat_ms: float = 100.0
     election_ms: float = 600.0  # without a leader's word; drawn from once to twice this
     probe_ms: float = 500.0  # one member is probed in so long (SWIM's protocol period)
--- a/badgeryoke/testbed/cluster_simulation/disk.py
+++ b/badgeryoke/testbed/cluster_simulation/disk.py
@@ -27,7 +27,7 @@
     Snapshot,
     StorageFailure,
 )
-from badgeryoke.cluster.messages import CONFIG, GroupConfiguration, LogEntry
+from badgeryoke.cluster.messages import EntryKind, GroupConfiguration, LogEntry
 from badgeryoke.testbed.cluster_simulation.network import Calendar
 
 
@@ -95,7 +95,7 @@
         if (entries is self.entries or self.config is None) and self.snapshot is not None:
             self.config, self.config_at = self.snapshot.config, self.snapshot.last_included_index
         for entry in reversed(entries):
-            if entry.kind == CONFIG:
+            if entry.kind == EntryKind.CONFIG:
                 self.config, self.config_at = (
                     msgspec.msgpack.decode(entry.body, type=GroupConfiguration),
                     entry.index,
--- a/badgeryoke/testbed/cluster_simulation/world.py
+++ b/badgeryoke/testbed/cluster_simulation/world.py
@@ -34,10 +34,10 @@
 from badgeryoke.cluster.invariants import Invariants, InvariantViolation
 from badgeryoke.cluster.key_value import PutValue, ReadValue
 from badgeryoke.cluster.messages import (
-    CONFIG,
     AnyMessage,
     AppendEntries,
     AppendEntriesReply,
+    EntryKind,
     GroupConfiguration,
     GroupMessage,
     InstallSnapshotChunk,
@@ -312,7 +312,7 @@
                 self.found("two-leaders", f"{at}: {leader} and {machine.id}")
             if isinstance(message, AppendEntries):
                 for entry in message.entries:
-                    if entry.kind == CONFIG:
+                    if entry.kind == EntryKind.CONFIG:
                         told = self._configs.setdefault(message.group, [])
                         told.append(msgspec.msgpack.decode(entry.body, type=GroupConfiguration))
                         del told[:-MOST_CONFIGS]
--- a/tests/cluster/test_behaviour_digests.py
+++ b/tests/cluster/test_behaviour_digests.py
@@ -5,7 +5,7 @@
 
 import random
 from collections.abc import Callable
-from typing import Any
+from typing import Any, cast
 
 import pytest
 
@@ -29,6 +29,7 @@
 from badgeryoke.cluster.events import (
     ClusterCall,
     LeaveCluster,
+    MembershipAction,
     MessageReceived,
     NodeEvent,
     PersistedGroup,
@@ -48,12 +49,11 @@
 from badgeryoke.cluster.leases.lease_pool import LeasePool
 from badgeryoke.cluster.membership.protocol import Membership
 from badgeryoke.cluster.messages import (
-    COMMAND,
-    CONFIG,
     Announce,
     AppendEntries,
     AppendEntriesReply,
     ClusterFounded,
+    EntryKind,
     ForwardedCall,
     ForwardedReply,
     GossipUpdate,
@@ -84,7 +84,8 @@
     group_of,
 )
 from badgeryoke.cluster.raft.log import encode_config
-from badgeryoke.cluster.raft.node import MAX_COMMAND_BYTES, RaftNode
+from badgeryoke.cluster.raft.log_replication import MAX_COMMAND_BYTES
+from badgeryoke.cluster.raft.node import RaftNode
 from badgeryoke.cluster.reservations.contract import (
     AdvanceContracts,
     CancelContract,
@@ -140,7 +141,6 @@
 from badgeryoke.testbed.cluster_simulation.generated_plans import play, play_seed
 from badgeryoke.testbed.cluster_simulation.world import FleetWorld
 from badgeryoke.testbed.scenario.model import Fault
-from tests.cluster.raft.test_raft import Storm, write
 from tests.cluster.test_membership import Net, members_of
 from tests.support.canonical import Digest
 from tests.support.cluster_digest import (
@@ -153,6 +153,8 @@
     command_values,
     saved_values,
 )
+from tests.support.raft_group import apply_write
+from tests.support.raft_storm import FaultStorm
 
 TIMINGS = Timings()
 SHORT = Timings(snapshot_entries=8, piece_bytes=48, most_batch=3, most_in_flight=6)
@@ -193,20 +195,20 @@
 @pytest.mark.parametrize("seed", range(10), ids="storm-{}".format)
 def test_replicas_in_a_storm(seed: int) -> None:
     digest = Digest()
-    storm = Storm(1000 + seed, recorded_replica(digest), ms=2500.0)
+    storm = FaultStorm(1000 + seed, recorded_replica(digest), duration_ms=2500.0)
     storm.run()
-    world = storm.world
-    digest.add([str(who) for who in world.sites])
-    digest.add(world.acked)
-    for at, site in enumerate(world.sites.values()):
+    world = storm.group
+    digest.add([str(who) for who in world.processes])
+    digest.add(world.acknowledged)
+    for at, site in enumerate(world.processes.values()):
         assert site.replica is not None
-        digest.add(site.replica.status(world.now))
+        digest.add(site.replica.status(world.now_ms))
         if at % 2:
-            site.replica.handle(world.now, StorageFailure(StorageFailed("g", "the disk is full")))
-        site.replica.handle(world.now, ReadIndexRequest("late-read"))
-        site.replica.handle(world.now, ProposeEntry("late", b"x"))
+            site.replica.handle(world.now_ms, StorageFailure(StorageFailed("g", "the disk is full")))
+        site.replica.handle(world.now_ms, ReadIndexRequest("late-read"))
+        site.replica.handle(world.now_ms, ProposeEntry("late", b"x"))
         digest.add(site.replica.discard())
-        digest.add(site.replica.status(world.now))
+        digest.add(site.replica.status(world.now_ms))
     check(f"replica-storm-{seed}", digest)
 
 
@@ -251,14 +253,14 @@
 
     def entries(self, previous: int, term: int) -> tuple[LogEntry, ...]:
         made = tuple(
-            LogEntry(previous + 1 + at, term, COMMAND, f"e{previous}-{at}".encode())
+            LogEntry(previous + 1 + at, term, EntryKind.COMMAND, f"e{previous}-{at}".encode())
             for at in range(self.draw.choice((0, 0, 1, 2, 3)))
         )
         if made and self.draw.random() < 0.1:
             voters = self.names[: self.draw.randint(2, len(self.names))]
             made = (
                 *made[:-1],
-                LogEntry(made[-1].index, term, CONFIG, encode_config(GroupConfiguration(voters))),
+                LogEntry(made[-1].index, term, EntryKind.CONFIG, encode_config(GroupConfiguration(voters))),
             )
         return made
 
@@ -350,9 +352,11 @@
         if chance < 0.96:
             return ReadIndexRequest(self.token())
         if chance < 0.99:
-            return ChangeMembers(
-                self.token(), draw.choice(("learn", "promote", "remove", "dance")), draw.choice(self.names)
-            )
+            token, action = (
+                self.token(),
+                draw.choice(("learn", "promote", "remove", "dance")),
+            )  # one is unknown
+            return ChangeMembers(token, cast(MembershipAction, action), draw.choice(self.names))
         return TransferLeadership(draw.choice((*self.names, "")))
 
 
@@ -383,7 +387,7 @@
             for effect in replica.handle(now, strangers.event(seqs)):
                 if isinstance(effect, PersistRecords):
                     seqs.append(effect.sequence)
-                    saved = write(saved, effect)
+                    saved = apply_write(saved, effect)
                 elif (
                     isinstance(effect, SendMessage)
                     and strangers.friendly
@@ -401,7 +405,10 @@
 def test_a_group_that_is_forced() -> None:
     digest, config = Digest(), GroupConfiguration(("a/1", "b/1", "c/1"))
     saved = PersistedGroup(
-        4, "b/1", Snapshot(3, 2, config, b"x"), (LogEntry(4, 3, COMMAND, b"y"), LogEntry(5, 4, COMMAND, b"z"))
+        4,
+        "b/1",
+        Snapshot(3, 2, config, b"x"),
+        (LogEntry(4, 3, EntryKind.COMMAND, b"y"), LogEntry(5, 4, EntryKind.COMMAND, b"z")),
     )
     for lost in (("b/1", "c/1"), ("b/1",), (), ("c/1", "b/1"), ("b/1", "d/1")):
         digest.add(saved_values(forced(saved, "g", "a/1", lost, START), "g"))
--- a/tests/cluster/test_golden_cluster.py
+++ b/tests/cluster/test_golden_cluster.py
@@ -523,7 +523,7 @@
     go."""
     last = history_entries(OTHER)[-1]
     put = key_value.PutValue(id="x1", name="note", value="armed")
-    entry = messages.LogEntry(last.index + 1, 8, messages.COMMAND, encode(START_MS + 70_000.0, put))
+    entry = messages.LogEntry(last.index + 1, 8, messages.EntryKind.COMMAND, encode(START_MS + 70_000.0, put))
     group = group_of(put.key(), FOUNDING.groups)
     append = messages.AppendEntries(
         group=OTHER,
--- a/tests/cluster/test_membership.py
+++ b/tests/cluster/test_membership.py
@@ -30,11 +30,10 @@
 from badgeryoke.cluster.invariants import Invariants
 from badgeryoke.cluster.membership.protocol import LEFT_GRACE, Membership
 from badgeryoke.cluster.messages import (
-    CONFIG,
-    NOTHING,
     Ack,
     Announce,
     ClusterFounded,
+    EntryKind,
     GossipUpdate,
     GroupConfiguration,
     IdentityQuery,
@@ -753,7 +752,7 @@
         and made.current_term == 4 + FORCED_TERMS
         and made.voted_for == "b/1"
     )
-    assert [entry.kind for entry in made.entries] == [CONFIG, CONFIG, NOTHING]
+    assert [entry.kind for entry in made.entries] == [EntryKind.CONFIG, EntryKind.CONFIG, EntryKind.NOTHING]
     sizes = [len(config.voters) for config in (log.config_at(at) for at in (7, 8, 9)) if config is not None]
     assert sizes == [3, 2, 1]
     assert forced(made, "g0", "b/1", ("a/1", "c/1"), 1e12) == made, "again at the next start: nothing"
--- a/tests/cluster/test_regressions.py
+++ b/tests/cluster/test_regressions.py
@@ -57,6 +57,7 @@
     HardState,
     LeaveCluster,
     LogEvent,
+    MembershipAction,
     MessageReceived,
     OperationCompleted,
     PersistedGroup,
@@ -74,14 +75,13 @@
 from badgeryoke.cluster.leases.lease_pool import MOST_GAP_MS, LeasePool
 from badgeryoke.cluster.membership.protocol import DEAD, SUSPECT, Membership
 from badgeryoke.cluster.messages import (
-    COMMAND,
-    CONFIG,
     PROTOCOL_VERSION,
     Ack,
     Announce,
     AppendEntries,
     AppendEntriesReply,
     ClusterFounded,
+    EntryKind,
     Envelope,
     ForwardedCall,
     ForwardedReply,
@@ -109,13 +109,11 @@
     group_of,
 )
 from badgeryoke.cluster.raft.log import RaftLog, encode_config
-from badgeryoke.cluster.raft.node import (
-    MAX_COMMAND_BYTES,
-    MAX_SNAPSHOT_BYTES,
-    MAX_WITHHELD_MESSAGES,
-    RaftNode,
-    Role,
-)
+from badgeryoke.cluster.raft.log_replication import MAX_COMMAND_BYTES
+from badgeryoke.cluster.raft.node import RaftNode
+from badgeryoke.cluster.raft.persistence import MAX_WITHHELD_MESSAGES
+from badgeryoke.cluster.raft.snapshot_transfer import MAX_SNAPSHOT_BYTES
+from badgeryoke.cluster.raft.state_types import Role
 from badgeryoke.cluster.reservations import contract
 from badgeryoke.cluster.reservations import lease_client as floor_module
 from badgeryoke.cluster.reservations.contract import (
@@ -152,37 +150,48 @@
 from badgeryoke.testbed.cluster_simulation.clock import UNIX_MS
 from badgeryoke.testbed.cluster_simulation.fault_plan import Plan
 from badgeryoke.testbed.cluster_simulation.world import FleetWorld, Machine
-from tests.cluster.raft.test_raft import THREE, TIMINGS, Kept, World, alone, sent, stored
 from tests.gateway.cluster.test_storage import entries, opened
 from tests.gateway.cluster.test_storage import put as store_put
 from tests.gateway.cluster.test_transport import PING, SOON, pair
 from tests.gateway.cluster.test_transport import play as links_play
 from tests.gateway.test_service import until
+from tests.support.raft_group import (
+    THREE_VOTERS,
+    TIMINGS,
+    RecordingStateMachine,
+    SimulatedGroup,
+    persist_writes,
+    sent_messages,
+    single_replica,
+)
 from tests.support.stand_ins import HOST
 
 EMPTY = msgspec.msgpack.encode([])
 
 
-def entry(index: int, term: int, body: bytes = b"x", kind: int = COMMAND) -> LogEntry:
+def entry(index: int, term: int, body: bytes = b"x", kind: int = EntryKind.COMMAND) -> LogEntry:
     return LogEntry(index, term, kind, body)
 
 
-def copy(term: int, *terms: int, vote: str = "") -> tuple[RaftNode, Kept]:
+def copy(term: int, *terms: int, vote: str = "") -> tuple[RaftNode, RecordingStateMachine]:
     """a/1 of three, with entries of these terms; nothing is known as committed."""
-    return alone(
+    return single_replica(
         PersistedGroup(
-            term, vote, Snapshot(0, 0, THREE, EMPTY), tuple(entry(at, one) for at, one in enumerate(terms, 1))
+            term,
+            vote,
+            Snapshot(0, 0, THREE_VOTERS, EMPTY),
+            tuple(entry(at, one) for at, one in enumerate(terms, 1)),
         )
     )
 
 
-def leading(term: int, *terms: int) -> tuple[RaftNode, Kept]:
+def leading(term: int, *terms: int) -> tuple[RaftNode, RecordingStateMachine]:
     """The same as the leader of `term`, which only itself has an entry of yet."""
     replica, machine = copy(term - 1, *terms)
     replica.handle(replica.due_ms, Tick())
     made = replica.handle(2000.0, MessageReceived("b/1", RequestVoteReply("g", term, True, True)))
-    stored(replica, 2000.0, made)
-    stored(
+    persist_writes(replica, 2000.0, made)
+    persist_writes(
         replica,
         2000.0,
         replica.handle(2000.0, MessageReceived("b/1", RequestVoteReply("g", term, True, False))),
@@ -214,7 +223,7 @@
 ) -> None:
     replica, _ = copy(4, 1, 3)
     made = replica.handle(5000.0, MessageReceived("b/1", RequestVote("g", 5, last_index, last_term, pre)))
-    votes = sent(made + stored(replica, 5000.0, made), RequestVoteReply)
+    votes = sent_messages(made + persist_writes(replica, 5000.0, made), RequestVoteReply)
     assert [vote.vote_granted for vote in votes] == [granted]
 
 
@@ -226,7 +235,7 @@
             replica.due_ms - 1.0,
             MessageReceived("b/1", RequestVoteReply("g", replica.current_term + 1, True, True)),
         )
-        stored(replica, replica.due_ms - 1.0, made)
+        persist_writes(replica, replica.due_ms - 1.0, made)
     assert replica.role is Role.CANDIDATE and replica.current_term == 6
     replica.handle(replica.due_ms - 1.0, MessageReceived("c/1", RequestVoteReply("g", 5, True, False)))
     assert replica.role is Role.CANDIDATE
@@ -236,8 +245,8 @@
     replica, _ = copy(4, 1)
     held = replica.handle(5000.0, MessageReceived("b/1", RequestVote("g", 5, 9, 9, False)))
     later = replica.handle(5001.0, MessageReceived("c/1", AppendEntries("g", 6, 1, 1, (), 0, 1)))
-    told = stored(replica, 5002.0, held + later)
-    assert replica.current_term == 6 and not sent(told, RequestVoteReply)
+    told = persist_writes(replica, 5002.0, held + later)
+    assert replica.current_term == 6 and not sent_messages(told, RequestVoteReply)
 
 
 def test_a_late_word_to_stand_is_not_heeded() -> None:
@@ -289,9 +298,9 @@
 
 def test_members_change_only_behind_an_entry_of_the_leaders_own_term() -> None:
     replica, _ = leading(5, 1)
-    made = replica.handle(2001.0, ChangeMembership("t", "learn", "d/1"))
+    made = replica.handle(2001.0, ChangeMembership("t", MembershipAction.LEARN, "d/1"))
     assert [type(one.result) for one in made if isinstance(one, OperationCompleted)] == [WrongState]
-    assert replica.config == THREE
+    assert replica.config == THREE_VOTERS
 
 
 def test_the_lead_goes_to_nobody_who_lacks_an_entry() -> None:
@@ -299,11 +308,11 @@
     made = replica.handle(2001.0, MessageReceived("b/1", AppendEntriesReply("g", 5, True, 2, 1)))
     made += replica.handle(2002.0, ProposeCommand("p", b"p"))
     made += replica.handle(2003.0, TransferLeadership("b/1"))
-    stored(replica, 2003.0, made)
-    assert not sent(made, TimeoutNow)
+    persist_writes(replica, 2003.0, made)
+    assert not sent_messages(made, TimeoutNow)
     assert isinstance(replica.handle(2004.0, ProposeCommand("q", b"q"))[-1].result, NoLeader)  # type: ignore[union-attr]
     made = replica.handle(2005.0, MessageReceived("b/1", AppendEntriesReply("g", 5, True, 3, 1)))
-    assert sent(made, TimeoutNow) == [TimeoutNow("g", 5)]
+    assert sent_messages(made, TimeoutNow) == [TimeoutNow("g", 5)]
 
 
 # What a follower takes
@@ -323,8 +332,8 @@
     made = replica.handle(
         10.0, MessageReceived("b/1", AppendEntries("g", 5, 1, 1, (entry(2, 5), entry(3, 5)), 0, 1))
     )
-    assert [one.index for one in sent(made, AppendEntriesReply)] == [1]
-    assert 3 in [one.index for one in sent(stored(replica, 11.0, made), AppendEntriesReply)]
+    assert [one.index for one in sent_messages(made, AppendEntriesReply)] == [1]
+    assert 3 in [one.index for one in sent_messages(persist_writes(replica, 11.0, made), AppendEntriesReply)]
 
 
 def test_a_store_under_way_makes_nothing_safe_that_was_cut_meanwhile() -> None:
@@ -335,14 +344,16 @@
     second = replica.handle(
         11.0, MessageReceived("c/1", AppendEntries("g", 6, 1, 1, (entry(2, 6), entry(3, 6)), 0, 1))
     )
-    told = stored(replica, 12.0, first)
+    told = persist_writes(replica, 12.0, first)
     told += replica.handle(13.0, MessageReceived("c/1", AppendEntries("g", 6, 3, 6, (), 0, 2)))
-    assert max((one.index for one in sent(told, AppendEntriesReply)), default=0) <= 1
-    assert 3 in [one.index for one in sent(stored(replica, 14.0, second), AppendEntriesReply)]
+    assert max((one.index for one in sent_messages(told, AppendEntriesReply)), default=0) <= 1
+    assert 3 in [
+        one.index for one in sent_messages(persist_writes(replica, 14.0, second), AppendEntriesReply)
+    ]
 
 
 def pieces(
-    index: int, index_term: int, body: bytes, config: GroupConfiguration = THREE
+    index: int, index_term: int, body: bytes, config: GroupConfiguration = THREE_VOTERS
 ) -> Callable[..., InstallSnapshotChunk]:
     return lambda term, offset, size: InstallSnapshotChunk(
         "g", term, index, index_term, config, offset, len(body), body[offset : offset + size], 1
@@ -355,8 +366,10 @@
     body = msgspec.msgpack.encode([(1, b"x"), (2, b"y"), (3, b"z")])
     made = replica.handle(10.0, MessageReceived("b/1", pieces(3, 5, body)(6, 0, 99)))
     assert (replica.last_log_index, replica.commit_index, machine.rows[-1]) == (3, 3, (3, b"z"))
-    assert not [one for one in sent(made, AppendEntriesReply) if one.index]  # neither stored nor told
-    assert 3 in [one.index for one in sent(stored(replica, 11.0, made), AppendEntriesReply)]
+    assert not [
+        one for one in sent_messages(made, AppendEntriesReply) if one.index
+    ]  # neither stored nor told
+    assert 3 in [one.index for one in sent_messages(persist_writes(replica, 11.0, made), AppendEntriesReply)]
 
 
 @pytest.mark.parametrize(
@@ -373,12 +386,12 @@
     replica, _ = copy(4, 1)
     first = pieces(3, 5, b"yyyyyyyyyy")
     assert (
-        sent(replica.handle(10.0, MessageReceived("b/1", first(5, 0, 4))), InstallSnapshotChunkReply)[
-            0
-        ].received_bytes
+        sent_messages(
+            replica.handle(10.0, MessageReceived("b/1", first(5, 0, 4))), InstallSnapshotChunkReply
+        )[0].received_bytes
         == 4
     )
-    assert sent(replica.handle(11.0, other()), InstallSnapshotChunkReply)[0].received_bytes == 3
+    assert sent_messages(replica.handle(11.0, other()), InstallSnapshotChunkReply)[0].received_bytes == 3
 
 
 def test_a_snapshot_bears_the_members_and_the_term_of_its_last_entry() -> None:
@@ -389,13 +402,18 @@
     saved = PersistedGroup(
         4,
         "",
-        Snapshot(0, 0, THREE, EMPTY),
+        Snapshot(0, 0, THREE_VOTERS, EMPTY),
         (
             *(entry(at, one) for at, one in enumerate(terms, 1)),
-            entry(count + 1, 2, encode_config(GroupConfiguration(THREE.voters, ("d/1",))), CONFIG),
+            entry(
+                count + 1,
+                2,
+                encode_config(GroupConfiguration(THREE_VOTERS.voters, ("d/1",))),
+                EntryKind.CONFIG,
+            ),
         ),
     )
-    replica, _ = alone(saved)
+    replica, _ = single_replica(saved)
     made = replica.handle(10.0, MessageReceived("b/1", AppendEntries("g", 5, count + 1, 2, (), count, 1)))
     shots = [
         record
@@ -405,17 +423,17 @@
         if isinstance(record, Snapshot)
     ]
     assert [(shot.last_included_index, shot.last_included_term, shot.config) for shot in shots] == [
-        (count, 1, THREE)
+        (count, 1, THREE_VOTERS)
     ]
 
 
 def test_a_log_is_loaded_without_entries_that_a_snapshot_overtook() -> None:
-    saved = PersistedGroup(5, "", Snapshot(3, 4, THREE, EMPTY), (entry(4, 2), entry(5, 2)))
+    saved = PersistedGroup(5, "", Snapshot(3, 4, THREE_VOTERS, EMPTY), (entry(4, 2), entry(5, 2)))
     assert RaftLog.load(saved).last_index == 3
 
 
 def test_a_batch_is_bounded_in_bytes_and_a_refusal_points_behind_what_is_committed() -> None:
-    log = RaftLog(0, 0, THREE, tuple(entry(at, 1, b"x" * 100) for at in range(1, 9)))
+    log = RaftLog(0, 0, THREE_VOTERS, tuple(entry(at, 1, b"x" * 100) for at in range(1, 9)))
     assert len(log.entries_from(1, 8, 250)) == 2 and len(log.entries_from(1, 8, 10)) == 1
     assert log.first_of_term(8, 5) == 5
 
@@ -928,8 +946,8 @@
 )
 def test_a_row_that_is_not_as_it_was_written_makes_a_newcomer(tmp_path: Path, spoil: str) -> None:
     disk = opened(tmp_path)
-    store_put(disk, "g", HardState(3, "b/1"), entries(1, 5), Snapshot(2, 1, THREE, b"x"))
-    store_put(disk, "h", Snapshot(7, 1, THREE, b"y"))
+    store_put(disk, "g", HardState(3, "b/1"), entries(1, 5), Snapshot(2, 1, THREE_VOTERS, b"x"))
+    store_put(disk, "h", Snapshot(7, 1, THREE_VOTERS, b"y"))
     disk._db.execute("CREATE TABLE old AS SELECT * FROM entry WHERE grp = 'g' AND idx = 4")
     store_put(disk, "g", entries(4, 5, 2))
     disk._db.execute(spoil)
@@ -1784,7 +1802,7 @@
             appends, made = appends + len(to_c), []
             for message in to_c:
                 told = other.handle(now, MessageReceived("a/1", message))
-                for one in told + stored(other, now, told):
+                for one in told + persist_writes(other, now, told):
                     if isinstance(one, SendMessage) and one.to == "a/1":
                         made += replica.handle(now, MessageReceived("c/1", one.message))
     return out, appends
@@ -1792,9 +1810,11 @@
 
 def follower(*terms: int) -> RaftNode:
     saved = PersistedGroup(
-        5, "", Snapshot(0, 0, THREE, EMPTY), tuple(entry(at, one) for at, one in enumerate(terms, 1))
+        5, "", Snapshot(0, 0, THREE_VOTERS, EMPTY), tuple(entry(at, one) for at, one in enumerate(terms, 1))
+    )
+    return RaftNode(
+        "g", "c/1", saved, RecordingStateMachine(SimulatedGroup(0, 0)), TIMINGS, Random(1), Invariants(), 0.0
     )
-    return RaftNode("g", "c/1", saved, Kept(World(0, 0)), TIMINGS, Random(1), Invariants(), 0.0)
 
 
 def errors(effects: list[Effect]) -> list[str]:
--- a/tests/gateway/cluster/test_service.py
+++ b/tests/gateway/cluster/test_service.py
@@ -37,7 +37,7 @@
 )
 from badgeryoke.cluster.invariants import Rule
 from badgeryoke.cluster.key_value import PutValue
-from badgeryoke.cluster.messages import NOTHING, GroupConfiguration, LogEntry, RequestVoteReply
+from badgeryoke.cluster.messages import EntryKind, GroupConfiguration, LogEntry, RequestVoteReply
 from badgeryoke.cluster.state_machine.part import ApplyResult
 from badgeryoke.gateway.application import GatewayApplication
 from badgeryoke.gateway.cluster import service as service_module
@@ -456,7 +456,7 @@
                 (
                     HardState(4, ""),
                     Snapshot(1, 1, GroupConfiguration((me, *others)), b""),
-                    Entries((LogEntry(2, 4, NOTHING, b""),)),
+                    Entries((LogEntry(2, 4, EntryKind.NOTHING, b""),)),
                 ),
             )
         ]
--- a/tests/gateway/cluster/test_storage.py
+++ b/tests/gateway/cluster/test_storage.py
@@ -23,14 +23,14 @@
     RecordsPersisted,
     Snapshot,
 )
-from badgeryoke.cluster.messages import COMMAND, GroupConfiguration, LogEntry
+from badgeryoke.cluster.messages import EntryKind, GroupConfiguration, LogEntry
 from badgeryoke.gateway.cluster.storage import MOST_KEPT, NAME, TOLD, ClusterStorage, StoreWriter, open_store
 
 CONFIG = GroupConfiguration(("a/1", "b/1", "c/1"))
 
 
 def entry(index: int, term: int = 1, size: int = 40) -> LogEntry:
-    return LogEntry(index, term, COMMAND, bytes([index % 256]) * size)
+    return LogEntry(index, term, EntryKind.COMMAND, bytes([index % 256]) * size)
 
 
 def entries(first: int, last: int, term: int = 1, size: int = 40) -> Entries:
--- a/tests/gateway/cluster/test_transport.py
+++ b/tests/gateway/cluster/test_transport.py
@@ -17,10 +17,10 @@
 
 from badgeryoke.cluster import errors
 from badgeryoke.cluster.messages import (
-    COMMAND,
     PROTOCOL_VERSION,
     AnyMessage,
     AppendEntries,
+    EntryKind,
     Envelope,
     GossipUpdate,
     LogEntry,
@@ -37,7 +37,7 @@
 
 
 def big(size: int = 1000, index: int = 1) -> AppendEntries:
-    return AppendEntries("g", 1, index - 1, 1, (LogEntry(index, 1, COMMAND, b"x" * size),), 0, 0)
+    return AppendEntries("g", 1, index - 1, 1, (LogEntry(index, 1, EntryKind.COMMAND, b"x" * size),), 0, 0)
 
 
 class End:
--- a/tests/support/cluster_digest.py
+++ b/tests/support/cluster_digest.py
@@ -30,8 +30,8 @@
 )
 from badgeryoke.cluster.invariants import Invariants, Rule
 from badgeryoke.cluster.messages import (
-    COMMAND,
     AppendEntries,
+    EntryKind,
     ForwardedCall,
     ForwardedReply,
     InstallSnapshotChunk,
@@ -83,7 +83,7 @@
 
 def entry_values(entry: LogEntry) -> object:
     """An entry of a log; a configuration's bytes hold no name."""
-    body = body_values(entry.body) if entry.kind == COMMAND else entry.body
+    body = body_values(entry.body) if entry.kind == EntryKind.COMMAND else entry.body
     return entry.index, entry.term, entry.kind, body
 
 
--- a/tests/support/cluster_history.py
+++ b/tests/support/cluster_history.py
@@ -10,8 +10,7 @@
 from badgeryoke.cluster import connection_limits, key_value, unreported_usage
 from badgeryoke.cluster.events import DiscardGroup, Entries, HardState, PersistRecords, Snapshot
 from badgeryoke.cluster.invariants import Invariants
-from badgeryoke.cluster.messages import COMMAND, NOTHING, LogEntry
-from badgeryoke.cluster.messages import CONFIG as CHANGE
+from badgeryoke.cluster.messages import EntryKind, LogEntry
 from badgeryoke.cluster.node_setup import FOUNDING as FOUNDING_GROUP
 from badgeryoke.cluster.placement import directory
 from badgeryoke.cluster.raft.log import encode_config
@@ -221,11 +220,14 @@
 
 def history_entries(group: str) -> tuple[LogEntry, ...]:
     """The log: what a new leader begins with, then the commands."""
-    made = [LogEntry(index=1, term=2, kind=NOTHING, body=b"")]
+    made = [LogEntry(index=1, term=2, kind=EntryKind.NOTHING, body=b"")]
     for index, (after_ms, command) in enumerate(HISTORIES[group], 2):
         made.append(
             LogEntry(
-                index=index, term=2 + index // 8, kind=COMMAND, body=encode(START_MS + after_ms, command)
+                index=index,
+                term=2 + index // 8,
+                kind=EntryKind.COMMAND,
+                body=encode(START_MS + after_ms, command),
             )
         )
     return tuple(made)
@@ -233,7 +235,9 @@
 
 def apply_entries(state: GroupStateMachine, entries: tuple[LogEntry, ...]) -> list[ApplyResult]:
     """Bring a log's commands to a state."""
-    return [state.apply(1000.0, entry.index, entry.body) for entry in entries if entry.kind == COMMAND]
+    return [
+        state.apply(1000.0, entry.index, entry.body) for entry in entries if entry.kind == EntryKind.COMMAND
+    ]
 
 
 def first_snapshot(group: str) -> Snapshot:
@@ -277,7 +281,7 @@
                 )
             ]
         )
-    change = LogEntry(index=4, term=4, kind=CHANGE, body=encode_config(CONFIG))
+    change = LogEntry(index=4, term=4, kind=EntryKind.CONFIG, body=encode_config(CONFIG))
     start = (first_snapshot("g0"), Entries((*history_entries(OTHER)[:3], change)))
     disk.write([PersistRecords("g0", 1, (HardState(current_term=4, voted_for="b/2"), *start))])
     disk.write([PersistRecords("g2", 1, start), PersistRecords("g2", 2, (DiscardGroup(),))])
--- a/tests/support/cluster_samples.py
+++ b/tests/support/cluster_samples.py
@@ -36,9 +36,9 @@
 
 CONFIG = messages.GroupConfiguration(voters=("a/1", "b/2", "c/3"), learners=("d/4",))
 ENTRIES = (
-    messages.LogEntry(index=8, term=3, kind=messages.COMMAND, body=b"\x00command\xff"),
-    messages.LogEntry(index=9, term=3, kind=messages.CONFIG, body=encode_config(CONFIG)),
-    messages.LogEntry(index=10, term=4, kind=messages.NOTHING, body=b""),
+    messages.LogEntry(index=8, term=3, kind=messages.EntryKind.COMMAND, body=b"\x00command\xff"),
+    messages.LogEntry(index=9, term=3, kind=messages.EntryKind.CONFIG, body=encode_config(CONFIG)),
+    messages.LogEntry(index=10, term=4, kind=messages.EntryKind.NOTHING, body=b""),
 )
 RUMOURS = (
     messages.GossipUpdate(who="c/3", state=1, count=5, by="a/1"),
--- a/tests/testbed/test_planted_faults.py
+++ b/tests/testbed/test_planted_faults.py
@@ -14,7 +14,8 @@
 from badgeryoke.cluster.events import OperationCompleted, PersistedGroup, RecordsPersisted, SendMessage
 from badgeryoke.cluster.key_value import PutValue
 from badgeryoke.cluster.messages import GroupConfiguration, RequestVote, RequestVoteReply
-from badgeryoke.cluster.raft.node import RaftNode, Role
+from badgeryoke.cluster.raft.node import RaftNode
+from badgeryoke.cluster.raft.state_types import Role
 from badgeryoke.cluster.rolling_restart.restart import (
     STEPS,
     ClusterConditions,
