--- a/badgeryoke/cluster/events.py
+++ b/badgeryoke/cluster/events.py
@@ -8,6 +8,7 @@
 
 from badgeryoke.cluster.errors import ClusterError
 from badgeryoke.cluster.messages import AnyMessage, GroupConfiguration, LogEntry, MemberId
+from badgeryoke.cluster.state_machine.part import Command
 
 # Records of one group on stable storage
 
@@ -189,7 +190,7 @@
     """
 
     token: str
-    command: Any  # a state_machine.part.Command; importing that here would be a cycle
+    command: Command
 
 
 @dataclass(frozen=True, slots=True)
--- a/badgeryoke/gateway/application.py
+++ b/badgeryoke/gateway/application.py
@@ -23,7 +23,8 @@
 from badgeryoke.gateway.diameter.client_connection import DiameterListener
 from badgeryoke.gateway.diameter.peer import PeerIdentity
 from badgeryoke.gateway.diameter.upstream_connection import DiameterUpstream
-from badgeryoke.gateway.discovery.client import DiscoveryClient, Endpoint
+from badgeryoke.gateway.discovery.client import DiscoveryClient
+from badgeryoke.gateway.discovery.endpoint_list import Endpoint
 from badgeryoke.gateway.dispatcher import Dispatcher
 from badgeryoke.gateway.graceful_shutdown import GracefulShutdown, ShutdownEffect, ShutdownEvent
 from badgeryoke.gateway.graceful_shutdown import ShutdownState as Standing
@@ -171,14 +172,14 @@
             self.fleet = ClusterService(self._config.operators.fleet, self._config.name)
             # A connection is used as long as the longest request on it, and then rests.
             longest_ms = max((cls.deadline_ms for cls in self._config.settings.classes), default=0.0)
-            self._pools = self.fleet.pools = ConnectionLeases(
+            self._pools = self.fleet.connection_leases = ConnectionLeases(
                 self._config.operators.fleet,
                 self._loop,
-                self.fleet.now,
+                self.fleet.clock.monotonic_ms,
                 self._config.idle_ms + longest_ms,
                 self,
             )
-            self.fleet.on_floor = self.core.guarantee
+            self.fleet.on_reservation_client = self.core.guarantee
             self.fleet.start()
         if self._counter is not None:
             self._counter.open()
@@ -227,13 +228,13 @@
         path = transfer.address(folder, self._config.name)
         taker = transfer.SnapshotReceiver(path)
         until = self._loop.time() + LIST_S  # its servers are known by discovery's names
-        while not self._hosts.heard and self._loop.time() < until:
+        while not self._hosts.notified and self._loop.time() < until:
             await asyncio.sleep(0.01)
         if (handed := await taker.ask()) is not None:
             self.core.take(handed, self._hosts.numbers)
             self._front.share(OVERLAP_PART)
             if self._pools is not None:
-                self._pools.alone = False  # the process before answers what it has taken
+                self._pools.only_process = False  # the process before answers what it has taken
             log.info("state taken over: %d customers, %d servers", len(handed.ledgers), len(handed.peers))
         if self._drain.ending:
             return
@@ -284,11 +285,11 @@
         old = self._config
         kept = {key: getattr(old, key) for key in OF_THE_PROCESS}
         self._config = taken = replace(config, counter=config.counter or old.counter, **kept)
-        self._hosts.move(taken.discovery)
-        self._hosts.retune(taken.settings.gateway_count)
+        self._hosts.switch_address(taken.discovery)
+        self._hosts.update_settings(taken.settings.gateway_count)
         if self._counter is not None and taken.counter is not None:
-            self._counter.move(taken.counter)
-            self._counter.retune(taken.settings.counter_timeout_ms)
+            self._counter.switch_address(taken.counter)
+            self._counter.update_settings(taken.settings.counter_timeout_ms)
         for _, link in self._links.values():
             if isinstance(link, RespUpstream):
                 link.retune(
@@ -319,10 +320,10 @@
             if found is None or (found.address, found.kind) != (old.address, old.kind):
                 link.drain()
                 if self._pools is not None and link.lease is not None:
-                    self._pools.forget(link.lease)
+                    self._pools.retire(link.lease)
                 del self._links[number]
         if self._pools is not None:
-            self._pools.listed(host.id for host in hosts.values())
+            self._pools.update_servers(host.id for host in hosts.values())
         for number, host in hosts.items():
             if number not in self._links:
                 self._links[number] = host, self._open_link(host, most)
@@ -335,7 +336,7 @@
 
     def _open_link(self, host: Endpoint, most: int) -> RespUpstream | DiameterUpstream:
         config, second = self._config, self._config.diameter
-        lease = None if self._pools is None else self._pools.lease(host.id)
+        lease = None if self._pools is None else self._pools.create_lease(host.id)
         made: RespUpstream | DiameterUpstream
         if second is not None and host.kind in second.server_kinds:
             made = DiameterUpstream(
@@ -363,7 +364,7 @@
                 lease=lease,
             )
         if lease is not None:
-            lease.link = made
+            lease.upstream = made
         return made
 
     def _sweep(self) -> None:
@@ -387,13 +388,13 @@
         """Whether this process can serve: an ending one cannot, a drained one could."""
         if self._drain.ending:
             return False, self._drain.state.value
-        if not self._hosts.listed:
+        if not self._hosts.has_list:
             return False, "no list of servers yet"
         return self._listening, self._drain.state.value if self._listening else "taking over"
 
     @property
     def drained(self) -> bool:
-        """Clients are turned away, and the front knows (fleet.pools.Gateway)."""
+        """Clients are rejected, and the front knows (see `DrainableGateway`)."""
         return self._drain.state is Standing.PAUSED
 
     @property
@@ -435,9 +436,9 @@
     async def _part_with(self, fleet: ClusterService) -> None:
         """What this gateway leads for the fleet is handed over, in a time that is bounded."""
         if self._pools is not None:
-            self._pools.leave()
+            self._pools.drain()
             until = self._loop.time() + GIVE_BACK_S
-            while not self._pools.empty and self._loop.time() < until:
+            while not self._pools.is_empty and self._loop.time() < until:
                 await asyncio.sleep(0.01)
         await fleet.leave()
         fleet.close()
@@ -448,7 +449,7 @@
             log.info("ending: %d unanswered", self.core.unanswered)
             if self.fleet is not None:
                 if self._pools is not None:
-                    self._pools.leave()
+                    self._pools.drain()
                 self._leaving = asyncio.ensure_future(self.fleet.leave())
         self._term_at = min(self._term_at, self._loop.time())
         self._drained(ShutdownEvent.TERM)
@@ -524,7 +525,7 @@
     def _await_reports(self, until: float) -> None:
         """The last reports have the time that any call has: closed at once, they would be cut off."""
         if self._counter is not None:
-            if self._counter.busy and self._loop.time() < until:
+            if self._counter.has_pending_calls and self._loop.time() < until:
                 self._loop.call_later(0.02, self._await_reports, until)
                 return
             self._counter.close()
