--- a/badgeryoke/cluster/bootstrap.py
+++ b/badgeryoke/cluster/bootstrap.py
@@ -218,11 +218,11 @@
         if isinstance(message, IdentityQuery):
             self._answer(sender, out)
         elif isinstance(message, (Announce, ClusterFounded)):
-            if isinstance(message, Announce) and not message.founding:
+            if isinstance(message, Announce) and not message.bootstrap_record:
                 if self.record is None and self._storing is None:
                     self._none[name] = now, sender
                 return
-            self._heard(sender, message.founding, out)
+            self._heard(sender, message.bootstrap_record, out)
 
     def _answer(self, sender: MemberId, out: list[SendMessage | PersistRecords | LogEvent]) -> None:
         hall = self._halls.get(self._setup.me, "")
--- a/badgeryoke/cluster/messages.py
+++ b/badgeryoke/cluster/messages.py
@@ -155,14 +155,14 @@
 class Ping(Message, frozen=True, tag="Ping"):
     """The probe of SWIM (Das, Gupta and Motivala, 2002).
 
-    `target`: the member that is probed (a restarted process answers for nobody else).  `wall`: the sender's
-    wall clock, Unix ms, 0 where it reports none.
+    `target`: the member that is probed (a restarted process answers for nobody else).  `wall_clock_ms`: the
+    sender's, Unix ms; 0 where it reports none.
     """
 
     seq: int
     target: MemberId
     gossip: tuple[GossipUpdate, ...]
-    wall: float = 0.0
+    wall_clock_ms: float = 0.0
 
 
 class Ack(Message, frozen=True, tag="Ack"):
@@ -171,7 +171,7 @@
     seq: int
     target: MemberId
     gossip: tuple[GossipUpdate, ...]
-    wall: float = 0.0
+    wall_clock_ms: float = 0.0
 
 
 class PingRequest(Message, frozen=True, tag="PingFor"):
@@ -204,22 +204,21 @@
 class IdentityQuery(Message, frozen=True, tag="WhoAreYou"):
     """A member without a bootstrap record polls for one."""
 
-    sender_hall: str
+    sender_zone: str
 
 
 class Announce(Message, frozen=True, tag="IAm"):
-    """The reply to `IdentityQuery`; `founding`: the bootstrap record (MessagePack), empty where there is
-    none yet."""
+    """The reply to `IdentityQuery`; `bootstrap_record` is MessagePack, empty where there is none yet."""
 
-    hall: str
-    founding: bytes
+    zone: str
+    bootstrap_record: bytes
 
 
 class ClusterFounded(Message, frozen=True, tag="Found"):
     """The founder distributes the bootstrap record; accepted only by a member that has none and is named in
     it."""
 
-    founding: bytes
+    bootstrap_record: bytes
 
 
 AnyMessage = (
@@ -247,7 +246,7 @@
     known."""
 
     version: int
-    fleet: str  # the name of the cluster
+    cluster: str  # the name of the cluster
     sender: MemberId
     to: MemberId
     messages: tuple[AnyMessage, ...]
--- a/badgeryoke/cluster/node.py
+++ b/badgeryoke/cluster/node.py
@@ -246,8 +246,8 @@
             case MessageReceived(sender=sender, message=ForwardedReply() as message):
                 effects += self._replied(now, wall, sender, message)
             case MessageReceived(sender=sender, message=Ping() | Ack() | PingRequest() | Nack() as message):
-                if isinstance(message, Ping | Ack) and message.wall > 0.0:
-                    self._clocks(sender, message.wall - raw)
+                if isinstance(message, Ping | Ack) and message.wall_clock_ms > 0.0:
+                    self._clocks(sender, message.wall_clock_ms - raw)
                 effects += self._gossip(raw, self.membership.handle(now, event))
                 self.due = min(self.due, self.membership.due)
             case MessageReceived(message=IdentityQuery() | Announce() | ClusterFounded()):
@@ -296,7 +296,7 @@
     def _gossip(raw: float, effects: Iterable[SendMessage | LogEvent]) -> list[Effect]:
         """What membership sends, with this machine's clock in it."""
         return [
-            SendMessage(effect.to, msgspec.structs.replace(effect.message, wall=raw))
+            SendMessage(effect.to, msgspec.structs.replace(effect.message, wall_clock_ms=raw))
             if isinstance(effect, SendMessage) and isinstance(effect.message, Ping | Ack)
             else effect
             for effect in effects
--- a/tests/cluster/test_golden_cluster.py
+++ b/tests/cluster/test_golden_cluster.py
@@ -568,8 +568,8 @@
             hops=1,
             body=encode(START_MS, key_value.PutValue(id="x2", name="", value="")),
         ),
-        messages.IdentityQuery(sender_hall="east"),
-        messages.Ping(seq=3, target="a/1", gossip=(), wall=START_MS),
+        messages.IdentityQuery(sender_zone="east"),
+        messages.Ping(seq=3, target="a/1", gossip=(), wall_clock_ms=START_MS),
         messages.RequestVote(
             group="g0", term=5, last_log_index=9, last_log_term=4, pre_vote=False, leadership_transfer=True
         ),
--- a/tests/support/cluster_samples.py
+++ b/tests/support/cluster_samples.py
@@ -120,13 +120,13 @@
     ("leader-transfer", messages.TimeoutNow(group="g1", term=4)),
     ("forwarded-call", messages.ForwardedCall(token="a.77", group="g1", body=b"\x92call", hops=2)),
     ("forwarded-answer", messages.ForwardedReply(token="a.77", body=b"\x93answer")),
-    ("ping", messages.Ping(seq=21, target="b/2", gossip=RUMOURS, wall=START_MS + 0.5)),
-    ("ping-answer", messages.Ack(seq=21, target="b/2", gossip=RUMOURS, wall=START_MS + 1.25)),
+    ("ping", messages.Ping(seq=21, target="b/2", gossip=RUMOURS, wall_clock_ms=START_MS + 0.5)),
+    ("ping-answer", messages.Ack(seq=21, target="b/2", gossip=RUMOURS, wall_clock_ms=START_MS + 1.25)),
     ("indirect-ping", messages.PingRequest(seq=22, target="c/3", gossip=RUMOURS)),
     ("indirect-ping-refused", messages.Nack(seq=22, target="c/3", gossip=RUMOURS)),
-    ("bootstrap-question", messages.IdentityQuery(sender_hall="east")),
-    ("bootstrap-answer", messages.Announce(hall="west", founding=msgspec.msgpack.encode(FOUNDING))),
-    ("bootstrap-record", messages.ClusterFounded(founding=msgspec.msgpack.encode(FOUNDING))),
+    ("bootstrap-question", messages.IdentityQuery(sender_zone="east")),
+    ("bootstrap-answer", messages.Announce(zone="west", bootstrap_record=msgspec.msgpack.encode(FOUNDING))),
+    ("bootstrap-record", messages.ClusterFounded(bootstrap_record=msgspec.msgpack.encode(FOUNDING))),
 )
 
 TERMS = contract.ContractTerms(
@@ -375,7 +375,7 @@
 
 def _envelope(name: str, to: str, *sent: messages.AnyMessage) -> Case:
     envelope = messages.Envelope(
-        version=messages.PROTOCOL_VERSION, fleet=CLUSTER, sender=SENDER, to=to, messages=sent
+        version=messages.PROTOCOL_VERSION, cluster=CLUSTER, sender=SENDER, to=to, messages=sent
     )
     return Case(f"frame/{name}", envelope, _framed, _unframed)
 
--- a/tests/support/raft_group.py
+++ b/tests/support/raft_group.py
@@ -7,7 +7,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
-from typing import Any
+from typing import Any, NamedTuple
 
 import msgspec
 
@@ -107,6 +107,14 @@
     return saved
 
 
+class OpenCall(NamedTuple):
+    """An operation without its result."""
+
+    kind: str  # of `CALL_KINDS`
+    member_id: MemberId
+    acknowledged_index: int  # the highest one acknowledged before the call
+
+
 class SimulatedGroup:
     """The members of one group, a network and a clock."""
 
@@ -119,9 +127,7 @@
         self.committed_commands: dict[int, bytes] = {}
         self.leader_of_term: dict[int, MemberId] = {}
         self.blocked_links: set[tuple[MemberId, MemberId]] = set()
-        self.open_calls: dict[
-            str, tuple[str, MemberId, int, int]
-        ] = {}  # kind, member, its start count, the highest index acknowledged before
+        self.open_calls: dict[str, OpenCall] = {}
         self.answers: dict[str, Any] = {}
         self.acknowledged: dict[str, int] = {}
         self.is_lost: Callable[[MemberId, MemberId, Any], bool] = lambda sender, to, message: False
@@ -251,12 +257,8 @@
         event: ProposeCommand | ReadIndexRequest | ChangeMembership,
         process: SimulatedProcess,
     ) -> str:
-        self.open_calls[event.token] = (
-            kind,
-            process.member_id,
-            process.start_count,
-            max(self.acknowledged.values(), default=0),
-        )
+        acknowledged_index = max(self.acknowledged.values(), default=0)
+        self.open_calls[event.token] = OpenCall(kind, process.member_id, acknowledged_index)
         self.deliver(process, event)
         return event.token
 
@@ -264,24 +266,27 @@
         if token in self.answers:
             raise HistoryViolation(f"answered twice: {token}")
         self.answers[token] = result
-        kind, _, _, before = self.open_calls.pop(token)
+        call = self.open_calls.pop(token)
         if isinstance(result, ClusterError):
             return
         assert process.state_machine is not None
-        if kind == "propose":
+        if call.kind == "propose":
             assert self.committed_commands[result] == token.encode()
             self.acknowledged[token] = result
-        elif (
-            kind == "read" and before and not any(index >= before for index, _ in process.state_machine.rows)
-        ):
-            raise HistoryViolation(f"stale read: {process.member_id} has not seen {before}")
+        elif call.kind == "read" and call.acknowledged_index:
+            has_seen = any(index >= call.acknowledged_index for index, _ in process.state_machine.rows)
+            if not has_seen:
+                reader = process.member_id
+                raise HistoryViolation(f"stale read: {reader} has not seen {call.acknowledged_index}")
 
     def crash(self, process: SimulatedProcess) -> None:
         """What is not on the disk is lost; the first of the open writes may be there."""
         if process.open_writes and self.rng.random() < 0.5:
             process.saved = apply_write(process.saved, process.open_writes[0])
         process.replica, process.start_count = None, process.start_count + 1
-        for token in [token for token, call in self.open_calls.items() if call[1] == process.member_id]:
+        for token in [
+            token for token, call in self.open_calls.items() if call.member_id == process.member_id
+        ]:
             self.open_calls.pop(token)
 
     def unfreeze(self, process: SimulatedProcess) -> None:
