--- a/badgeryoke/cluster/connection_limits/lease_holder.py
+++ b/badgeryoke/cluster/connection_limits/lease_holder.py
@@ -33,7 +33,7 @@
 )
 from badgeryoke.cluster.errors import ClusterError, DuplicateId, InvalidCall, WrongState
 from badgeryoke.cluster.invariants import Invariants, Rule
-from badgeryoke.cluster.leases.lease_pool import EDGE
+from badgeryoke.cluster.leases.lease import EPSILON
 from badgeryoke.cluster.messages import MemberId
 from badgeryoke.cluster.state_machine.part import ApplyResult, Command
 from badgeryoke.cluster.timings import Timings
@@ -138,7 +138,7 @@
         if not need:
             return 0
         # One more than needed, so that the next connection is opened without waiting for a grant.
-        return min(math.ceil(need * self.need_multiple - EDGE) + 1, MAX_LIMIT)
+        return min(math.ceil(need * self.need_multiple - EPSILON) + 1, MAX_LIMIT)
 
     def _request_due(self, now: float, connections: ServerConnections, wanted: int) -> bool:
         since_request_ms = now - connections.requested_at_ms
--- a/badgeryoke/cluster/node.py
+++ b/badgeryoke/cluster/node.py
@@ -583,7 +583,9 @@
             places = parts["placing"]
             load = {
                 **load,
-                "promised": parts["contracts"].promised(wall, wall + parts["rolls"].planning_horizon_ms()),
+                "promised": parts["contracts"].peak_reserved_rate(
+                    wall, wall + parts["rolls"].planning_horizon_ms()
+                ),
             }
         behind = {
             group: held.behind for group, held in places.groups.items() if held.behind
@@ -629,13 +631,13 @@
         known, idle = state.parts["connections"].servers, self.setup.idle_ms
         return [
             SetConnectionLimit(
-                id=f"limit/{server}/{most}/{known[server].pool.whole if server in known else 0:g}/{state.index}",
+                id=f"limit/{server}/{most}/{known[server].pool.capacity if server in known else 0:g}/{state.index}",
                 server=server,
                 max_connections=most,
                 idle_timeout_ms=idle,
             )
             for server, most in self.limits.items()
-            if (server not in known or known[server].pool.whole != most)
+            if (server not in known or known[server].pool.capacity != most)
             and group_of(server_bucket(server), self.founding.record.groups) == group
         ]
 
