--- a/badgeryoke/gateway/cluster/startup.py
+++ b/badgeryoke/gateway/cluster/startup.py
@@ -113,7 +113,7 @@
         )
         return
     added_entries = changed.entries[len(persisted.entries) :]
-    records = HardState(changed.term, changed.vote), Entries(added_entries)
+    records = HardState(changed.current_term, changed.voted_for), Entries(added_entries)
     storage.write([PersistRecords(group, 0, records)])
     storage.persisted_groups[group] = changed
     log.warning(
--- a/badgeryoke/gateway/cluster/storage/writer.py
+++ b/badgeryoke/gateway/cluster/storage/writer.py
@@ -93,7 +93,7 @@
         self.transactions += 1
         self.records += sum(len(request.records) for request in batch)
         self._start_next_batch()  # the disk works on while the loop handles the acknowledgements
-        self._on_persisted([RecordsPersisted(request.group, request.seq) for request in batch])
+        self._on_persisted([RecordsPersisted(request.group, request.sequence) for request in batch])
 
     def _fail(self, error: ClusterError) -> None:
         if self.failure is None:
--- a/badgeryoke/gateway/cluster/transport/frames.py
+++ b/badgeryoke/gateway/cluster/transport/frames.py
@@ -8,7 +8,7 @@
 from tornado.iostream import IOStream
 
 from badgeryoke.cluster.errors import BadFrame, ClusterError, ClusterMismatch
-from badgeryoke.cluster.messages import VERSION, AnyMessage, Envelope, MemberId
+from badgeryoke.cluster.messages import PROTOCOL_VERSION, AnyMessage, Envelope, MemberId
 
 LENGTH_BYTES = 4
 MAX_ENVELOPE_OVERHEAD_BYTES = 1024  # of an envelope beside its messages
@@ -47,7 +47,7 @@
 def encode_batch(cluster: str, sender: MemberId, to: MemberId, messages: Sequence[msgspec.Raw]) -> bytes:
     """The frame of an envelope whose messages are encoded already."""
     # The fields of Envelope in their order: an Envelope itself would hold decoded messages.
-    return _with_length(_encoder.encode((VERSION, cluster, sender, to, messages)))
+    return _with_length(_encoder.encode((PROTOCOL_VERSION, cluster, sender, to, messages)))
 
 
 def _with_length(body: bytes) -> bytes:
@@ -58,8 +58,8 @@
     """An envelope of this version and cluster, or why it is none; `peer` is named in the error."""
     try:
         header = _header_decoder.decode(body)
-        if header.version != VERSION:
-            return BadFrame(peer, f"version {header.version}, this one speaks {VERSION}")
+        if header.version != PROTOCOL_VERSION:
+            return BadFrame(peer, f"version {header.version}, this one speaks {PROTOCOL_VERSION}")
         if header.fleet != cluster:
             return ClusterMismatch(
                 peer, f"it belongs to fleet {quoted(header.fleet)}, this one to {cluster!r}"
--- a/tests/gateway/cluster/test_storage.py
+++ b/tests/gateway/cluster/test_storage.py
@@ -109,7 +109,7 @@
         reopened_storage.persisted_groups["g"].entries[-1].index
         if reopened_storage.persisted_groups["g"].entries
         else (
-            reopened_storage.persisted_groups["g"].snapshot.index
+            reopened_storage.persisted_groups["g"].snapshot.last_included_index
             if reopened_storage.persisted_groups["g"].snapshot
             else 0
         )
@@ -117,7 +117,7 @@
     write_records(reopened_storage, "g", entries(last + 1, last + 2, 7))
     opened_again = reopened(reopened_storage)
     assert (
-        opened_again.persisted_groups["g"].term == 9
+        opened_again.persisted_groups["g"].current_term == 9
         and opened_again.persisted_groups["g"].entries[-2:] == entries(last + 1, last + 2, 7).entries
     )
     opened_again.close()
@@ -328,7 +328,7 @@
         gate.set()
         await observer.until(40)
         assert (
-            observer.persisted == [RecordsPersisted(one.group, one.seq) for one in stores]
+            observer.persisted == [RecordsPersisted(one.group, one.sequence) for one in stores]
             and observer.writer.transactions == 2
         )
         observer.writer.submit([PersistRecords("last", 1, (HardState(1, "a/1"),))])
@@ -338,7 +338,7 @@
     reopened_storage = open_existing(storage.directory)
     assert (
         reopened_storage.persisted_groups["last"] == PersistedGroup(1, "a/1")
-        and reopened_storage.persisted_groups["g0"].term == 39
+        and reopened_storage.persisted_groups["g0"].current_term == 39
     )
     reopened_storage.close()
 
--- a/tests/gateway/cluster/test_transport.py
+++ b/tests/gateway/cluster/test_transport.py
@@ -12,7 +12,7 @@
 import pytest
 
 from badgeryoke.cluster.messages import (
-    VERSION,
+    PROTOCOL_VERSION,
     AnyMessage,
     AppendEntries,
     Envelope,
@@ -84,19 +84,25 @@
         (bytes(4), "bad-frame"),
         (b"\x00\x00\x00\x03\xff\xff\xff", "bad-frame"),
         (b"\x00\x00\x00\x40" + b"\x91" * 64, "bad-frame"),
-        (raw_frame(VERSION + 1, "f", {"another": "form"}), "bad-frame"),
-        (raw_frame(VERSION, "f", "a/1", "b", ("none",)), "bad-frame"),
-        (encode_frame(Envelope(VERSION, "f", "a/1", "b", (PING,))), "bad-frame"),
-        (raw_frame(VERSION, "other", "a/1", "b", ()), "another-fleet"),
-        (raw_frame(VERSION, "f", "nobody/1", "b", ()), "another-fleet"),
-        (raw_frame(VERSION, "f", "b/1", "b", ()), "another-fleet"),
-        (raw_frame(VERSION, "f", "a", "b", ()), "another-fleet"),
-        (raw_frame(VERSION, "f", "a/1", "b/0", ()), "stale-incarnation"),
-        (HANDSHAKE_FRAME + raw_frame(VERSION, "f", "a/1", "b/0", (PING,)), "stale-incarnation"),
-        (HANDSHAKE_FRAME + raw_frame(VERSION, "f", "c/1", "b", (PING,)), "bad-frame"),
-        (HANDSHAKE_FRAME + raw_frame(VERSION, "f", "a/1", "b", (["Unheard", 1],)), "bad-frame"),
-        (HANDSHAKE_FRAME + raw_frame(VERSION, "f", "a/1", "b", (["Ping", "one", "b/1", []],)), "bad-frame"),
-        (HANDSHAKE_FRAME + encode_frame(Envelope(VERSION, "f", "a/1", "b", (PING,) * 1025)), "bad-frame"),
+        (raw_frame(PROTOCOL_VERSION + 1, "f", {"another": "form"}), "bad-frame"),
+        (raw_frame(PROTOCOL_VERSION, "f", "a/1", "b", ("none",)), "bad-frame"),
+        (encode_frame(Envelope(PROTOCOL_VERSION, "f", "a/1", "b", (PING,))), "bad-frame"),
+        (raw_frame(PROTOCOL_VERSION, "other", "a/1", "b", ()), "another-fleet"),
+        (raw_frame(PROTOCOL_VERSION, "f", "nobody/1", "b", ()), "another-fleet"),
+        (raw_frame(PROTOCOL_VERSION, "f", "b/1", "b", ()), "another-fleet"),
+        (raw_frame(PROTOCOL_VERSION, "f", "a", "b", ()), "another-fleet"),
+        (raw_frame(PROTOCOL_VERSION, "f", "a/1", "b/0", ()), "stale-incarnation"),
+        (HANDSHAKE_FRAME + raw_frame(PROTOCOL_VERSION, "f", "a/1", "b/0", (PING,)), "stale-incarnation"),
+        (HANDSHAKE_FRAME + raw_frame(PROTOCOL_VERSION, "f", "c/1", "b", (PING,)), "bad-frame"),
+        (HANDSHAKE_FRAME + raw_frame(PROTOCOL_VERSION, "f", "a/1", "b", (["Unheard", 1],)), "bad-frame"),
+        (
+            HANDSHAKE_FRAME + raw_frame(PROTOCOL_VERSION, "f", "a/1", "b", (["Ping", "one", "b/1", []],)),
+            "bad-frame",
+        ),
+        (
+            HANDSHAKE_FRAME + encode_frame(Envelope(PROTOCOL_VERSION, "f", "a/1", "b", (PING,) * 1025)),
+            "bad-frame",
+        ),
         (HANDSHAKE_FRAME + (2 << 20).to_bytes(4, "big"), "bad-frame"),
     ],
     ids=[
@@ -327,7 +333,7 @@
 def test_random_bytes_decode_to_an_error_and_never_raise() -> None:
     draw, encoded = (
         Random(5),
-        encode_frame(Envelope(VERSION, "f", "a/1", "b/1", (PING, append_entries(30))))[4:],
+        encode_frame(Envelope(PROTOCOL_VERSION, "f", "a/1", "b/1", (PING, append_entries(30))))[4:],
     )
     for _ in range(3000):
         damaged = bytearray(encoded)
--- a/tests/support/cluster_samples.py
+++ b/tests/support/cluster_samples.py
@@ -73,9 +73,9 @@
 
 CONFIG = messages.GroupConfiguration(voters=("a/1", "b/2", "c/3"), learners=("d/4",))
 ENTRIES = (
-    messages.LogEntry(index=8, term=3, kind=messages.COMMAND, body=b"\x00command\xff"),
-    messages.LogEntry(index=9, term=3, kind=messages.CONFIG, body=encode_config(CONFIG)),
-    messages.LogEntry(index=10, term=4, kind=messages.NOTHING, body=b""),
+    messages.LogEntry(index=8, term=3, kind=messages.EntryKind.COMMAND, body=b"\x00command\xff"),
+    messages.LogEntry(index=9, term=3, kind=messages.EntryKind.CONFIG, body=encode_config(CONFIG)),
+    messages.LogEntry(index=10, term=4, kind=messages.EntryKind.NOTHING, body=b""),
 )
 RUMOURS = (
     messages.GossipUpdate(who="c/3", state=1, count=5, by="a/1"),
@@ -93,41 +93,57 @@
 MESSAGES: tuple[tuple[str, messages.AnyMessage], ...] = (
     (
         "vote-request",
-        messages.RequestVote(group="g1", term=4, last_index=10, last_term=3, pre=True, lead=True),
+        messages.RequestVote(
+            group="g1", term=4, last_log_index=10, last_log_term=3, pre_vote=True, leadership_transfer=True
+        ),
     ),
-    ("vote-answer", messages.RequestVoteReply(group="g1", term=4, granted=True, pre=True)),
+    ("vote-answer", messages.RequestVoteReply(group="g1", term=4, vote_granted=True, pre_vote=True)),
     (
         "append",
         messages.AppendEntries(
-            group="g1", term=4, previous=7, previous_term=3, entries=ENTRIES, commit=6, round=12
+            group="g1",
+            term=4,
+            prev_log_index=7,
+            prev_log_term=3,
+            entries=ENTRIES,
+            leader_commit=6,
+            heartbeat_round=12,
         ),
     ),
-    ("append-answer", messages.AppendEntriesReply(group="g1", term=4, good=True, index=10, round=12)),
+    (
+        "append-answer",
+        messages.AppendEntriesReply(group="g1", term=4, success=True, index=10, heartbeat_round=12),
+    ),
     (
         "snapshot-piece",
         messages.InstallSnapshotChunk(
             group="g1",
             term=4,
-            index=7,
-            index_term=3,
+            last_included_index=7,
+            last_included_term=3,
             config=CONFIG,
-            offset=1024,
-            size=4096,
-            body=b"part of it",
-            round=13,
+            offset_bytes=1024,
+            total_bytes=4096,
+            data=b"part of it",
+            heartbeat_round=13,
+        ),
+    ),
+    (
+        "snapshot-answer",
+        messages.InstallSnapshotChunkReply(
+            group="g1", term=4, last_included_index=7, received_bytes=1034, heartbeat_round=13
         ),
     ),
-    ("snapshot-answer", messages.InstallSnapshotChunkReply(group="g1", term=4, index=7, held=1034, round=13)),
     ("leader-transfer", messages.TimeoutNow(group="g1", term=4)),
     ("forwarded-call", messages.ForwardedCall(token="a.77", group="g1", body=b"\x92call", hops=2)),
     ("forwarded-answer", messages.ForwardedReply(token="a.77", body=b"\x93answer")),
-    ("ping", messages.Ping(seq=21, target="b/2", gossip=RUMOURS, wall=START_MS + 0.5)),
-    ("ping-answer", messages.Ack(seq=21, target="b/2", gossip=RUMOURS, wall=START_MS + 1.25)),
+    ("ping", messages.Ping(seq=21, target="b/2", gossip=RUMOURS, wall_clock_ms=START_MS + 0.5)),
+    ("ping-answer", messages.Ack(seq=21, target="b/2", gossip=RUMOURS, wall_clock_ms=START_MS + 1.25)),
     ("indirect-ping", messages.PingRequest(seq=22, target="c/3", gossip=RUMOURS)),
     ("indirect-ping-refused", messages.Nack(seq=22, target="c/3", gossip=RUMOURS)),
-    ("bootstrap-question", messages.IdentityQuery(sender_hall="east")),
-    ("bootstrap-answer", messages.Announce(hall="west", founding=msgspec.msgpack.encode(FOUNDING))),
-    ("bootstrap-record", messages.ClusterFounded(founding=msgspec.msgpack.encode(FOUNDING))),
+    ("bootstrap-question", messages.IdentityQuery(sender_zone="east")),
+    ("bootstrap-answer", messages.Announce(zone="west", bootstrap_record=msgspec.msgpack.encode(FOUNDING))),
+    ("bootstrap-record", messages.ClusterFounded(bootstrap_record=msgspec.msgpack.encode(FOUNDING))),
 )
 
 TERMS = ContractTerms(
@@ -384,7 +400,9 @@
 
 
 def _envelope(name: str, to: str, *sent: messages.AnyMessage) -> Case:
-    envelope = messages.Envelope(version=messages.VERSION, fleet=CLUSTER, sender=SENDER, to=to, messages=sent)
+    envelope = messages.Envelope(
+        version=messages.PROTOCOL_VERSION, cluster=CLUSTER, sender=SENDER, to=to, messages=sent
+    )
     return Case(f"frame/{name}", envelope, _framed, _unframed)
 
 
--- a/tests/support/storage.py
+++ b/tests/support/storage.py
@@ -5,13 +5,13 @@
 from pathlib import Path
 
 from badgeryoke.cluster.events import Entries, PersistRecords, Record
-from badgeryoke.cluster.messages import COMMAND, LogEntry
+from badgeryoke.cluster.messages import EntryKind, LogEntry
 from badgeryoke.gateway.cluster.storage import ClusterStorage, open_storage
 
 
 def entry(index: int, term: int = 1, size: int = 40) -> LogEntry:
     """A log entry whose body tells its index."""
-    return LogEntry(index, term, COMMAND, bytes([index % 256]) * size)
+    return LogEntry(index, term, EntryKind.COMMAND, bytes([index % 256]) * size)
 
 
 def entries(first: int, last: int, term: int = 1, size: int = 40) -> Entries:
