Give withheld messages and pending reads of the replica types of their own

Cause: both were bare tuples in deques, read by position. Change: WithheldMessage and PendingRead in raft/state_types.py.

--- a/badgeryoke/cluster/raft/log_replication.py
+++ b/badgeryoke/cluster/raft/log_replication.py
@@ -10,7 +10,7 @@
 from badgeryoke.cluster.invariants import Rule
 from badgeryoke.cluster.messages import AppendEntries, AppendEntriesReply, EntryKind, LogEntry, MemberId
 from badgeryoke.cluster.raft.persistence import Persistence
-from badgeryoke.cluster.raft.state_types import FollowerProgress, Role
+from badgeryoke.cluster.raft.state_types import FollowerProgress, PendingRead, Role
 
 MAX_APPENDS_IN_FLIGHT = 4  # to one member; what comes meanwhile makes the next append
 MAX_COMMAND_BYTES = 128 * 1024  # of one proposal; a longer one is rejected
@@ -40,7 +40,7 @@
         for token in self._pending.values():
             reason = "the leader changed before it was committed"
             self._complete(token, UnknownOutcome(self.group, reason))
-        for token in [token for _, token in self._round_reads] + self._waiting_reads:
+        for token in [read.token for read in self._round_reads] + self._waiting_reads:
             self._complete(token, NoLeader(self.group, "the leader changed"))
         self._pending, self._waiting_reads, self._followers = {}, [], {}
         self._round_reads.clear()
@@ -126,7 +126,9 @@
         self._next_heartbeat_ms = self._next_heartbeat_slot_ms(now_ms)
         self._last_heartbeat_ms = now_ms
         if self.leading and self._waiting_reads:
-            self._round_reads.extend((self._heartbeat_round, token) for token in self._waiting_reads)
+            self._round_reads.extend(
+                PendingRead(self._heartbeat_round, token) for token in self._waiting_reads
+            )
             self._waiting_reads = []
         for member, progress in self._followers.items():
             progress.catch_up_index = self.commit_index
--- a/badgeryoke/cluster/raft/persistence.py
+++ b/badgeryoke/cluster/raft/persistence.py
@@ -12,7 +12,7 @@
 from badgeryoke.cluster.invariants import Rule
 from badgeryoke.cluster.messages import AppendEntriesReply, MemberId, RequestVote, RequestVoteReply
 from badgeryoke.cluster.raft.state import RaftState
-from badgeryoke.cluster.raft.state_types import OpenWrite, RaftMessage
+from badgeryoke.cluster.raft.state_types import OpenWrite, RaftMessage, WithheldMessage
 
 MAX_WITHHELD_MESSAGES = 4096  # messages that wait for storage; the oldest then counts as lost
 
@@ -56,10 +56,10 @@
             self._release_messages()
 
     def _release_messages(self) -> None:
-        while self._withheld_messages and self._withheld_messages[0][0] <= self._persisted_sequence:
-            _, to, message = self._withheld_messages.popleft()
-            if message.term == self.current_term:  # one of an older term counts as lost
-                self._send(to, message)
+        while self._withheld_messages and self._withheld_messages[0].sequence <= self._persisted_sequence:
+            withheld = self._withheld_messages.popleft()
+            if withheld.message.term == self.current_term:  # one of an older term counts as lost
+                self._send(withheld.to, withheld.message)
 
     def _invalidate_persisted(self, last_index: int) -> None:
         """What is persisted after an index is no longer what the log says."""
@@ -75,7 +75,7 @@
             return
         if len(self._withheld_messages) >= MAX_WITHHELD_MESSAGES:
             self._withheld_messages.popleft()
-        self._withheld_messages.append((sequence, to, message))
+        self._withheld_messages.append(WithheldMessage(sequence, to, message))
 
     def _send(self, to: MemberId, message: RaftMessage) -> None:
         """Send now; what the message promises has to be persisted."""
--- a/badgeryoke/cluster/raft/read_index.py
+++ b/badgeryoke/cluster/raft/read_index.py
@@ -29,8 +29,7 @@
         confirmed_round = self._reached_by_quorum(
             self._heartbeat_round, lambda progress: progress.replied_round
         )
-        while self._round_reads and self._round_reads[0][0] <= confirmed_round:
-            _, token = self._round_reads.popleft()
-            self._complete(token, None)
+        while self._round_reads and self._round_reads[0].heartbeat_round <= confirmed_round:
+            self._complete(self._round_reads.popleft().token, None)
         if self.leading and self._waiting_reads and not self._round_reads:
             self._send_heartbeat_round(now_ms)
--- a/badgeryoke/cluster/raft/state.py
+++ b/badgeryoke/cluster/raft/state.py
@@ -38,10 +38,11 @@
     FollowerProgress,
     IncomingSnapshot,
     OpenWrite,
+    PendingRead,
     PendingTransfer,
-    RaftMessage,
     ReplicatedStateMachine,
     Role,
+    WithheldMessage,
 )
 from badgeryoke.cluster.timings import Timings
 
@@ -110,7 +111,7 @@
         self._persisted_term, self._persisted_vote = self.current_term, self.voted_for
         self._last_sequence = self._persisted_sequence = 0
         self._open_writes: deque[OpenWrite] = deque()
-        self._withheld_messages: deque[tuple[int, MemberId, RaftMessage]] = deque()  # sequence, to, message
+        self._withheld_messages: deque[WithheldMessage] = deque()
 
     def _init_follower_state(self, now_ms: float) -> None:
         """What counts while this replica is a follower or a candidate."""
@@ -127,7 +128,7 @@
         """What counts while this replica leads."""
         self._followers: dict[MemberId, FollowerProgress] = {}
         self._pending: dict[int, str] = {}  # tokens of proposals and membership changes by log index
-        self._round_reads: deque[tuple[int, str]] = deque()  # heartbeat round to be confirmed, token
+        self._round_reads: deque[PendingRead] = deque()
         self._waiting_reads: list[str] = []  # tokens of reads that wait for the next round
         self._heartbeat_round = 0
         self._next_heartbeat_ms = math.inf
--- a/badgeryoke/cluster/raft/state_types.py
+++ b/badgeryoke/cluster/raft/state_types.py
@@ -111,6 +111,23 @@
     voted_for: MemberId
 
 
+@dataclass(frozen=True, slots=True)
+class WithheldMessage:
+    """A message that is sent once the write with this sequence number is persisted."""
+
+    sequence: int
+    to: MemberId
+    message: RaftMessage
+
+
+@dataclass(frozen=True, slots=True)
+class PendingRead:
+    """A read that is completed once a majority has replied to its heartbeat round."""
+
+    heartbeat_round: int
+    token: str
+
+
 @dataclass(slots=True)
 class PendingTransfer:
     """A transfer of leadership under way at the leader (dissertation, 3.10)."""
