Split the configuration package by file and job, with named bounds

Cause: platform_file held types, value readers, the file's shape, and two files' validation in functions of 60 to 80 lines; operators_file a generic struct validation. Change: model (types), errors, values, file_shape, struct_validation, platform_file, diameter_file, operators_file; each function reads one thing, in the order in which faults were found before. Texts that name keys are as they were.

--- a/badgeryoke/__main__.py
+++ b/badgeryoke/__main__.py
@@ -6,7 +6,8 @@
 from pathlib import Path
 
 from badgeryoke.gateway.application import GatewayApplication
-from badgeryoke.gateway.config.platform_file import ConfigError, read_config
+from badgeryoke.gateway.config.errors import ConfigError
+from badgeryoke.gateway.config.platform_file import read_config
 from badgeryoke.gateway.log_format import set_up
 
 
--- a/badgeryoke/cli/main.py
+++ b/badgeryoke/cli/main.py
@@ -10,8 +10,10 @@
 import click
 import ujson
 
-from badgeryoke.gateway.config.operators_file import NAME, OperatorsError, read_operators
-from badgeryoke.gateway.config.platform_file import ConfigError, read_config, read_diameter
+from badgeryoke.gateway.config.diameter_file import read_diameter
+from badgeryoke.gateway.config.errors import ConfigError
+from badgeryoke.gateway.config.operators_file import OPERATORS_FILE, OperatorsError, read_operators
+from badgeryoke.gateway.config.platform_file import read_config
 
 BAD, UNUSABLE, MISSING, FAILED = 1, 2, 3, 4
 
@@ -58,7 +60,7 @@
 
 
 @cli.command()
-@click.argument("file", type=click.Path(path_type=Path), default=Path("deploy") / NAME)
+@click.argument("file", type=click.Path(path_type=Path), default=Path("deploy") / OPERATORS_FILE)
 @click.option("--json", "as_json", is_flag=True, help="One JSON document instead of lines.")
 def check(file: Path, as_json: bool) -> None:
     """Check a configuration FILE: the operators' .toml, or the platform's .json.
--- a/badgeryoke/gateway/application.py
+++ b/badgeryoke/gateway/application.py
@@ -18,8 +18,10 @@
 
 from badgeryoke.decisions.interface import CounterReply, EndpointList, EndpointState, Verdict
 from badgeryoke.gateway.actor import ActorScheduler, WallClock
-from badgeryoke.gateway.config.operators_file import NAME
-from badgeryoke.gateway.config.platform_file import Config, ConfigError, lacking
+from badgeryoke.gateway.config.errors import ConfigError
+from badgeryoke.gateway.config.file_shape import first_missing_key
+from badgeryoke.gateway.config.model import Config
+from badgeryoke.gateway.config.operators_file import OPERATORS_FILE
 from badgeryoke.gateway.diameter.client_connection import DiameterListener
 from badgeryoke.gateway.diameter.peer import PeerIdentity
 from badgeryoke.gateway.diameter.upstream_connection import DiameterUpstream
@@ -158,7 +160,7 @@
         if (fleet := config.operators.fleet) is not None and all(
             one.name != (fleet.me or config.name) for one in fleet.members
         ):
-            raise ConfigError(f"{NAME}: fleet.me: {fleet.me or config.name!r} is no member")
+            raise ConfigError(f"{OPERATORS_FILE}: fleet.me: {fleet.me or config.name!r} is no member")
         self._listening = False
         self.done = asyncio.Event()  # everything taken has its answer
 
@@ -274,7 +276,7 @@
             return
         try:
             config = self._reread()
-            if missing := lacking(self._config.shape, config.shape):
+            if missing := first_missing_key(self._config.file_shape, config.file_shape):
                 raise ConfigError(f"{missing}: missing, and the file in force has it")
             if config.settings.has_counter and self._counter is None:
                 raise ConfigError("settings.family_info.has_counter: a counter waits for the next start")
--- a/badgeryoke/gateway/cluster/settings.py
+++ b/badgeryoke/gateway/cluster/settings.py
@@ -12,7 +12,7 @@
 from badgeryoke.cluster.timings import Timings
 from badgeryoke.cluster.timings import faults as timing_faults
 from badgeryoke.gateway.address import parse_address
-from badgeryoke.gateway.config.operators_file import unknown, wrong
+from badgeryoke.gateway.config.struct_validation import malformed_values, unknown_keys
 
 MOST_MEMBERS, MOST_GROUPS, MOST_CONNECTIONS = 256, 256, 65_535
 COPIES = (3, 5, 1)  # 1: to try it out; a promise then outlives no machine
@@ -57,12 +57,14 @@
 def read_fleet(raw: dict[str, Any]) -> tuple[ClusterSettings | None, list[str]]:
     """The section as read, and its faults, each with its key."""
     shown = {**raw, "members": []}
-    found = unknown(shown, ClusterSettings, "fleet.") + wrong(shown, ClusterSettings, "fleet.")
+    found = unknown_keys(shown, ClusterSettings, "fleet.") + malformed_values(
+        shown, ClusterSettings, "fleet."
+    )
     members = raw.get("members", [])
     if isinstance(members, list) and all(isinstance(one, dict) for one in members):
         for at, one in enumerate(members):
             path = f"fleet.members[{at}]."
-            found += unknown(one, MemberEntry, path) + wrong(one, MemberEntry, path)
+            found += unknown_keys(one, MemberEntry, path) + malformed_values(one, MemberEntry, path)
             found += [f"{path}{key}: missing" for key in ("name", "hall", "address") if key not in one]
     else:
         found.append("fleet.members: expected tables, [[fleet.members]]")
--- a/badgeryoke/gateway/diameter/client_connection.py
+++ b/badgeryoke/gateway/diameter/client_connection.py
@@ -13,7 +13,7 @@
 from badgeryoke.decisions.interface import Idempotency, Settings
 from badgeryoke.gateway.actor import Actor, ActorScheduler
 from badgeryoke.gateway.attempt import Request, customer_number
-from badgeryoke.gateway.config.platform_file import DiameterConfig
+from badgeryoke.gateway.config.model import DiameterConfig
 from badgeryoke.gateway.diameter import codec
 from badgeryoke.gateway.diameter.codec import Avp, Code, Fault, Message, Result
 from badgeryoke.gateway.diameter.duplicate_requests import DuplicateRequests, Entry
--- a/tests/decisions/test_settings_parser.py
+++ b/tests/decisions/test_settings_parser.py
@@ -20,7 +20,9 @@
 from badgeryoke.decisions import interface as api
 from badgeryoke.decisions.settings_parser import KEYS, settings_from, unknown
 from badgeryoke.gateway.application import GatewayApplication
-from badgeryoke.gateway.config.platform_file import Config, ConfigError, read_config
+from badgeryoke.gateway.config.errors import ConfigError
+from badgeryoke.gateway.config.model import Config
+from badgeryoke.gateway.config.platform_file import read_config
 from tests.gateway.resp.test_client_connection import ask, play
 from tests.gateway.test_reload import at
 from tests.gateway.test_service import until
--- a/tests/gateway/cluster/test_service.py
+++ b/tests/gateway/cluster/test_service.py
@@ -45,8 +45,8 @@
 from badgeryoke.gateway.cluster.service import ClusterService, setup_of
 from badgeryoke.gateway.cluster.settings import ClusterSettings
 from badgeryoke.gateway.cluster.storage import ClusterStorage, StoreWriter, open_store
+from badgeryoke.gateway.config.errors import ConfigError
 from badgeryoke.gateway.config.operators_file import Operators, OperatorsError, read_operators
-from badgeryoke.gateway.config.platform_file import ConfigError
 from tests.gateway.test_service import until
 from tests.support.paths import ROOT
 from tests.support.stand_ins import HOST, Backend, Discovery, config, connect, entry, gateway, roster
--- a/tests/gateway/diameter/test_diameter.py
+++ b/tests/gateway/diameter/test_diameter.py
@@ -16,7 +16,7 @@
 from badgeryoke.gateway.actor import ActorScheduler, WallClock
 from badgeryoke.gateway.application import GatewayApplication
 from badgeryoke.gateway.attempt import Attempt, Request
-from badgeryoke.gateway.config.platform_file import Config
+from badgeryoke.gateway.config.model import Config
 from badgeryoke.gateway.diameter import client_connection, upstream_connection
 from badgeryoke.gateway.diameter.peer import Peer, PeerState
 from badgeryoke.gateway.diameter.peer import PeerIdentity as PeerIdentity
--- a/tests/gateway/test_golden_settings.py
+++ b/tests/gateway/test_golden_settings.py
@@ -10,8 +10,10 @@
 
 from badgeryoke.decisions import interface as api
 from badgeryoke.decisions.settings_parser import settings_from, unknown
+from badgeryoke.gateway.config.diameter_file import read_diameter
+from badgeryoke.gateway.config.errors import ConfigError
 from badgeryoke.gateway.config.operators_file import OperatorsError, read_operators
-from badgeryoke.gateway.config.platform_file import ConfigError, read_config, read_diameter
+from badgeryoke.gateway.config.platform_file import read_config
 from badgeryoke.gateway.discovery.endpoint_list import read_endpoint_snapshot
 from tests.decisions.test_settings_parser import FULL, USED, placed
 from tests.gateway.test_reload import at
--- a/tests/gateway/test_hot_restart.py
+++ b/tests/gateway/test_hot_restart.py
@@ -17,7 +17,7 @@
 from badgeryoke.decisions import interface as api
 from badgeryoke.decisions import state_snapshot
 from badgeryoke.gateway.application import GatewayApplication
-from badgeryoke.gateway.config.platform_file import Config
+from badgeryoke.gateway.config.model import Config
 from badgeryoke.gateway.graceful_shutdown import ShutdownState
 from badgeryoke.gateway.hot_restart import transfer
 from tests.gateway.resp.test_client_connection import play
--- a/tests/gateway/test_operations.py
+++ b/tests/gateway/test_operations.py
@@ -16,7 +16,8 @@
 from badgeryoke.gateway.admin import server as management_front
 from badgeryoke.gateway.admin.rendering import Gauges, render
 from badgeryoke.gateway.application import GatewayApplication
-from badgeryoke.gateway.config.platform_file import ConfigError, read_config
+from badgeryoke.gateway.config.errors import ConfigError
+from badgeryoke.gateway.config.platform_file import read_config
 from badgeryoke.gateway.graceful_shutdown import (
     TRANSITIONS,
     GracefulShutdown,
--- a/tests/gateway/test_parsers.py
+++ b/tests/gateway/test_parsers.py
@@ -10,7 +10,9 @@
 import pytest
 
 from badgeryoke.decisions.interface import Settings
-from badgeryoke.gateway.config.platform_file import ConfigError, read_config, read_diameter
+from badgeryoke.gateway.config.diameter_file import read_diameter
+from badgeryoke.gateway.config.errors import ConfigError
+from badgeryoke.gateway.config.platform_file import read_config
 from badgeryoke.gateway.diameter import codec
 from badgeryoke.gateway.diameter.duplicate_requests import DuplicateRequests, RequestIdentity
 from badgeryoke.gateway.discovery.endpoint_list import read_endpoint_snapshot
--- a/tests/gateway/test_reload.py
+++ b/tests/gateway/test_reload.py
@@ -14,7 +14,10 @@
 from badgeryoke.decisions import interface as api
 from badgeryoke.decisions.plan_schedule.plan_change import replan
 from badgeryoke.gateway.application import GatewayApplication
-from badgeryoke.gateway.config.platform_file import Config, ConfigError, lacking, read_config, shape
+from badgeryoke.gateway.config.errors import ConfigError
+from badgeryoke.gateway.config.file_shape import first_missing_key, shape_of
+from badgeryoke.gateway.config.model import Config
+from badgeryoke.gateway.config.platform_file import read_config
 from tests.decisions.test_simulator_adapter import PARAMS
 from tests.gateway.resp.test_client_connection import ask, play
 from tests.gateway.test_service import until
@@ -91,10 +94,10 @@
     ],
 )
 def test_a_file_that_lacks_a_key_is_turned_down_by_its_name(path: str) -> None:
-    missing = lacking(shape(RAW), shape(at(RAW, path)))
+    missing = first_missing_key(shape_of(RAW), shape_of(at(RAW, path)))
     assert missing == ".".join(part for part in path.split(".") if not part.isdigit())
-    assert lacking(shape(RAW), shape({**RAW, "more": 1})) is None
-    assert lacking(shape({**RAW, "known": {"version": 1}}), shape(RAW)) is None
+    assert first_missing_key(shape_of(RAW), shape_of({**RAW, "more": 1})) is None
+    assert first_missing_key(shape_of({**RAW, "known": {"version": 1}}), shape_of(RAW)) is None
 
 
 async def reloading(new: Callable[[Config], Config], test: Any, *nodes: Backend) -> None:
@@ -164,12 +167,12 @@
         one = replace(app._config, settings=made_settings(classes=(SAFE,), has_counter=False))
         grown = made_settings(classes=(SAFE, KEYED), has_counter=False, gateway_count=40)
         two = replace(app._config, settings=grown)
-        files[:] = [ConfigError("settings: missing"), replace(two, shape={"a": None}), one, two]
-        app._config = replace(app._config, shape={"a": None, "b": None})
+        files[:] = [ConfigError("settings: missing"), replace(two, file_shape={"a": None}), one, two]
+        app._config = replace(app._config, file_shape={"a": None, "b": None})
         app.reload()
         app.reload()  # lacks b
         assert await ask(app, query("kept", "load-send", key="k")) == [b"value"]
-        app._config = replace(app._config, shape=None)
+        app._config = replace(app._config, file_shape=None)
         app.reload()
         app.reload()
         assert await ask(app, query("back", "load-send", key="k2")) == [b"value"]
--- a/tests/gateway/test_service.py
+++ b/tests/gateway/test_service.py
@@ -21,7 +21,8 @@
 from badgeryoke.gateway import application as gateway_module
 from badgeryoke.gateway.application import GatewayApplication
 from badgeryoke.gateway.attempt import Attempt, AttemptEnd, Request
-from badgeryoke.gateway.config.platform_file import Config, ConfigError
+from badgeryoke.gateway.config.errors import ConfigError
+from badgeryoke.gateway.config.model import Config
 from badgeryoke.gateway.resp import listener as front_module
 from badgeryoke.gateway.resp.client_connection import MOST_FAULTS
 from badgeryoke.gateway.resp.upstream_connection import RespUpstream, settle
--- a/tests/support/stand_ins.py
+++ b/tests/support/stand_ins.py
@@ -16,7 +16,7 @@
 
 from badgeryoke.decisions import interface as api
 from badgeryoke.gateway.application import GatewayApplication
-from badgeryoke.gateway.config.platform_file import Config, DiameterConfig
+from badgeryoke.gateway.config.model import Config, DiameterConfig
 from badgeryoke.gateway.discovery.endpoint_list import EndpointSnapshot, read_endpoint_snapshot
 
 NOW_MS = 1_790_000_000_000.0  # what the clock says where it is made to stand still
