--- a/badgeryoke/__main__.py
+++ b/badgeryoke/__main__.py
@@ -8,18 +8,18 @@
 from badgeryoke.gateway.application import GatewayApplication
 from badgeryoke.gateway.config.errors import ConfigError
 from badgeryoke.gateway.config.platform_file import read_config
-from badgeryoke.gateway.log_format import set_up
+from badgeryoke.gateway.log_format import configure_logging
 
 
 async def main() -> None:
     root = Path.cwd()
     config = read_config(os.environ, root)
-    set_up(config.operators.log.format, config.operators.log.level)
+    configure_logging(config.operators.log.format, config.operators.log.level)
     await GatewayApplication(config, reread=lambda: read_config(os.environ, root, again=True)).run()
 
 
 if __name__ == "__main__":
-    set_up()
+    configure_logging()
     try:
         asyncio.run(main())
     except ConfigError as fault:
--- a/badgeryoke/gateway/admin/__init__.py
+++ b/badgeryoke/gateway/admin/__init__.py
@@ -1,1 +1,1 @@
-"""The operators' address: one line in, one answer out."""
+"""The admin address: operators send one line and get one answer."""
--- a/badgeryoke/gateway/application.py
+++ b/badgeryoke/gateway/application.py
@@ -418,9 +418,11 @@
 
     def metrics(self) -> str:
         """The figures, one a line."""
-        from badgeryoke.gateway.admin.rendering import Gauges, render
+        from badgeryoke.gateway.admin.rendering import Gauges, render_metrics
 
-        return render(self.core.figures, Gauges(self.core.unanswered, len(self._links), self.core.avoided))
+        return render_metrics(
+            self.core.figures, Gauges(self.core.unanswered, len(self._links), self.core.avoided)
+        )
 
     @property
     def fleet_on(self) -> bool:
@@ -501,7 +503,7 @@
                 self._loop.call_later(0.02, self._await_reports, self._loop.time() + wait_s)
             case ShutdownEffect.LEAVE:
                 if self._management is not None:
-                    self._management.end()
+                    self._management.close()
                 if self._giver is not None:
                     self._giver.close()
                 if self.fleet is not None:
--- a/badgeryoke/gateway/log_format.py
+++ b/badgeryoke/gateway/log_format.py
@@ -1,27 +1,31 @@
-"""Log lines: an event's name, its fields and its level, as text for people or as JSON, one object a line.
+"""The format of log lines: text for people, or JSON, one object a line.
 
-structlog was measured for this (docs/measurements.md): it costs a gateway 4.5 MB and 100 ms at its start.
-So the gateway stays with the standard library's logging, its nearest relative, and brings an event's
-fields as `extra={"fields": {...}}`.
+An event's fields are given as `extra={"fields": {...}}`.  The standard library's logging is used, and not
+structlog, which would cost each gateway 4.5 MB and 100 ms at its start (docs/measurements.md).
 """
 
 from __future__ import annotations
 
 import logging
 import sys
-from typing import TextIO
+from typing import Literal, TextIO
 
 import ujson
 
-TEXT = "%(levelname)s %(name)s: %(message)s"
+LineFormat = Literal["text", "json"]
+LogLevel = Literal["debug", "info", "warning", "error"]
 
+TEXT_FORMAT = "%(levelname)s %(name)s: %(message)s"
+TIMESTAMP_DIGITS = 3  # of a second
 
-class JsonLines(logging.Formatter):
+
+class JsonFormatter(logging.Formatter):
     """One JSON object a line: at (Unix seconds), level, logger, event, and the event's fields."""
 
     def format(self, record: logging.LogRecord) -> str:
+        """The line of a record, with the traceback of its exception, if any."""
         line: dict[str, object] = {
-            "at": round(record.created, 3),
+            "at": round(record.created, TIMESTAMP_DIGITS),
             "level": record.levelname.lower(),
             "logger": record.name,
             "event": record.getMessage(),
@@ -32,10 +36,12 @@
         return ujson.dumps(line, escape_forward_slashes=False)
 
 
-def set_up(form: str = "text", level: str = "info", stream: TextIO | None = None) -> None:
-    """Send all lines to standard error, or to the stream, in the form asked for."""
+def configure_logging(
+    line_format: LineFormat = "text", level: LogLevel = "info", stream: TextIO | None = None
+) -> None:
+    """Send all log lines of the level and above to the stream, or to standard error."""
     handler = logging.StreamHandler(stream or sys.stderr)
-    handler.setFormatter(JsonLines() if form == "json" else logging.Formatter(TEXT))
+    handler.setFormatter(JsonFormatter() if line_format == "json" else logging.Formatter(TEXT_FORMAT))
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(level.upper())
--- a/tests/cluster/test_golden_cluster.py
+++ b/tests/cluster/test_golden_cluster.py
@@ -49,7 +49,6 @@
 from badgeryoke.gateway.cluster.storage import NAME, ClusterStorage, open_store
 from badgeryoke.gateway.cluster.transport import ClusterTransport, frame
 from tests.gateway.cluster.test_service import free
-from tests.gateway.test_service import until
 from tests.support.canonical import canonical
 from tests.support.cluster_history import (
     HISTORIES,
@@ -75,6 +74,7 @@
     Case,
 )
 from tests.support.paths import ROOT
+from tests.support.running import until
 from tests.support.stand_ins import HOST
 
 GOLDEN = ROOT / "tests" / "golden"
--- a/tests/cluster/test_regressions.py
+++ b/tests/cluster/test_regressions.py
@@ -151,7 +151,7 @@
 from tests.gateway.cluster.test_storage import put as store_put
 from tests.gateway.cluster.test_transport import PING, SOON, pair
 from tests.gateway.cluster.test_transport import play as links_play
-from tests.gateway.test_service import until
+from tests.support.running import until
 from tests.support.stand_ins import HOST
 
 EMPTY = msgspec.msgpack.encode([])
--- a/tests/decisions/test_fleet_sums.py
+++ b/tests/decisions/test_fleet_sums.py
@@ -12,6 +12,7 @@
 from badgeryoke.gateway.discovery.backoff import DiscoveryBackoff
 from tests.support.policy_fleet import Fleet
 from tests.support.samples import server
+from tests.support.virtual_time import most_in_a_window
 
 SERVERS = [server(n) for n in range(1, 61)]
 
@@ -44,11 +45,6 @@
     assert sum(to in fleet.dead for to in late) < 0.08 * len(late)
 
 
-def most_in_a_window(times: list[float], window: float) -> int:
-    """The most of these that lie in any window."""
-    return max((sum(at <= other < at + window for other in times) for at in times), default=0)
-
-
 @pytest.mark.parametrize("gateways", [1, 3, 40, 200])
 def test_cold_servers_get_their_part_and_no_more_over_all_gateways(gateways: int) -> None:
     """join+vast: 18 servers of 60, new for 4 to 9 s, got 55 of 1,247 sends, and at 200 gateways hardly any: a
@@ -81,7 +77,7 @@
 
 
 @pytest.mark.parametrize(("gateways", "most"), [(3, 35), (40, 45), (200, 130)])
-def test_what_all_ask_discovery_again_is_bounded_and_spread(gateways: int, most: int) -> None:
+def test_retries_of_all_gateways_at_discovery_are_bounded_and_spread(gateways: int, most: int) -> None:
     """herd+vast: 40 gateways asked again 6 times a second each; 2 changes reached them all day."""
     calls = calls_after_a_loss(gateways, 60.0)
     assert most_in_a_window([at for own in calls for at in own if at >= 20], 1.0) <= most
--- a/tests/decisions/test_priority_admission.py
+++ b/tests/decisions/test_priority_admission.py
@@ -22,8 +22,8 @@
 from badgeryoke.gateway.dispatcher import Dispatcher, Rejected, Served
 from tests.gateway.cluster.test_service import section
 from tests.gateway.test_dispatcher import AIM, Bench, NoCounter
-from tests.gateway.test_service import until
 from tests.support import samples
+from tests.support.running import until
 from tests.support.samples import START, only
 
 
--- a/tests/decisions/test_settings_parser.py
+++ b/tests/decisions/test_settings_parser.py
@@ -23,10 +23,10 @@
 from badgeryoke.gateway.config.errors import ConfigError
 from badgeryoke.gateway.config.model import Config
 from badgeryoke.gateway.config.platform_file import read_config
-from tests.gateway.resp.test_client_connection import ask, play
 from tests.gateway.test_reload import at
-from tests.gateway.test_service import until
 from tests.support.paths import ROOT
+from tests.support.running import ask, until
+from tests.support.running import run_test as play
 from tests.support.stand_ins import HOST, NOW_MS, Backend, Discovery, config, entry, query, roster
 
 # Every key of the page, with another customer's figures; each kind of class and plan that there can be.
--- a/tests/gateway/cluster/test_connection_leases.py
+++ b/tests/gateway/cluster/test_connection_leases.py
@@ -42,7 +42,7 @@
 from badgeryoke.gateway.diameter.upstream_connection import DiameterUpstream
 from badgeryoke.gateway.resp.upstream_connection import RespUpstream
 from tests.gateway.cluster.test_service import section
-from tests.gateway.resp.test_client_connection import play
+from tests.support.running import run_test as play
 from tests.support.stand_ins import (
     HOST,
     Backend,
--- a/tests/gateway/cluster/test_service.py
+++ b/tests/gateway/cluster/test_service.py
@@ -47,8 +47,8 @@
 from badgeryoke.gateway.cluster.storage import ClusterStorage, StoreWriter, open_store
 from badgeryoke.gateway.config.errors import ConfigError
 from badgeryoke.gateway.config.operators_file import Operators, OperatorsError, read_operators
-from tests.gateway.test_service import until
 from tests.support.paths import ROOT
+from tests.support.running import until
 from tests.support.stand_ins import HOST, Backend, Discovery, config, connect, entry, gateway, roster
 
 MEMBERS = "\n".join(
--- a/tests/gateway/cluster/test_transport.py
+++ b/tests/gateway/cluster/test_transport.py
@@ -28,7 +28,7 @@
     RequestVoteReply,
 )
 from badgeryoke.gateway.cluster.transport import Bounds, ClusterTransport, PeerLink, frame, read
-from tests.gateway.test_service import until
+from tests.support.running import until
 from tests.support.stand_ins import HOST
 
 SOON = Bounds(connect_s=0.2, hello_s=0.2, stall_s=0.2, ask_s=0.0, again_least_s=0.01, again_most_s=0.05)
--- a/tests/gateway/diameter/test_diameter.py
+++ b/tests/gateway/diameter/test_diameter.py
@@ -21,9 +21,9 @@
 from badgeryoke.gateway.diameter.peer import Peer, PeerState
 from badgeryoke.gateway.diameter.peer import PeerIdentity as PeerIdentity
 from badgeryoke.gateway.diameter.upstream_connection import DiameterUpstream
-from tests.gateway.resp.test_client_connection import ask, play
 from tests.gateway.test_dispatcher import FakeLoop
-from tests.gateway.test_service import until
+from tests.support.running import ask, until
+from tests.support.running import run_test as play
 from tests.support.stand_ins import (
     KEYED,
     NOW_MS,
--- a/tests/gateway/diameter/test_golden_diameter.py
+++ b/tests/gateway/diameter/test_golden_diameter.py
@@ -15,10 +15,10 @@
 from badgeryoke.gateway.diameter.codec import Avp, Code, Command, Message
 from badgeryoke.gateway.diameter.peer import Peer, PeerIdentity
 from tests.gateway.diameter.test_diameter import CLOSED, FAULTS
-from tests.gateway.resp.test_client_connection import play
 from tests.gateway.test_dispatcher import FakeLoop
 from tests.support.canonical import canonical
 from tests.support.golden_files import assert_golden, hex_lines, text_lines
+from tests.support.running import run_test as play
 from tests.support.stand_ins import NOW_MS, avp, avps, ccr, cer, connect, event_time, message, one_gateway
 
 REQUESTS, ANSWERS = "diameter-ccr.txt", "diameter-answers.txt"
--- a/tests/gateway/resp/test_client_connection.py
+++ b/tests/gateway/resp/test_client_connection.py
@@ -9,7 +9,7 @@
 import subprocess
 import sys
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from pathlib import Path
 
 import pytest
@@ -17,11 +17,12 @@
 
 from badgeryoke.decisions import interface as api
 from badgeryoke.gateway.actor import ActorScheduler, WallClock
-from badgeryoke.gateway.application import GatewayApplication
 from badgeryoke.gateway.attempt import Request
 from badgeryoke.gateway.resp.client_connection import MOST_WAITING, RespClientConnection
 from tests.decisions.test_simulator_adapter import PARAMS
 from tests.support.paths import ROOT
+from tests.support.running import ask
+from tests.support.running import run_test as play
 from tests.support.stand_ins import (
     Backend,
     Counter,
@@ -38,21 +39,6 @@
 )
 
 
-def play(test: Callable[[], Awaitable[None]]) -> None:
-    async def bounded() -> None:
-        await asyncio.wait_for(test(), 60)  # only so that a fault does not hang the run
-
-    asyncio.run(bounded())
-
-
-async def ask(app: GatewayApplication, *commands: bytes) -> list[object]:
-    reader, writer = await connect(app.address)
-    writer.write(b"".join(commands))
-    answers = [await read_reply(reader) for _ in commands]
-    writer.close()
-    return answers
-
-
 def test_a_query_is_passed_on_unchanged_and_its_value_comes_back() -> None:
     async def test() -> None:
         async with Counter() as counter, one_gateway(counter=counter.port) as (app, node, _):
--- a/tests/gateway/resp/test_connection_close.py
+++ b/tests/gateway/resp/test_connection_close.py
@@ -35,9 +35,9 @@
 from badgeryoke.gateway.resp.client_connection import MOST_WAITING, READ_AT_ONCE, RespClientConnection
 from badgeryoke.gateway.resp.listener import COMMAND_S, UNREAD_S, RespListener
 from tests.decisions.test_simulator_adapter import PARAMS
-from tests.gateway.resp.test_client_connection import ask, play
-from tests.gateway.test_service import until
 from tests.support.paths import ROOT
+from tests.support.running import ask, until
+from tests.support.running import run_test as play
 from tests.support.stand_ins import (
     HOST,
     Backend,
--- a/tests/gateway/resp/test_golden_resp.py
+++ b/tests/gateway/resp/test_golden_resp.py
@@ -14,10 +14,10 @@
 from badgeryoke.gateway.resp import client_connection, upstream_connection
 from badgeryoke.gateway.resp.codec import ErrorReply, RespParser, Status, Value
 from badgeryoke.gateway.response_stream import WINDOW, BufferBudget, ResponseStream
-from tests.gateway.resp.test_client_connection import play
-from tests.gateway.test_service import until
 from tests.support.canonical import canonical
 from tests.support.golden_files import assert_golden, escaped_lines, text_lines
+from tests.support.running import run_test as play
+from tests.support.running import until
 from tests.support.stand_ins import (
     HOST,
     NOW_MS,
--- a/tests/gateway/resp/test_retries.py
+++ b/tests/gateway/resp/test_retries.py
@@ -27,9 +27,9 @@
 from badgeryoke.gateway.dispatcher import Dispatcher, Response
 from badgeryoke.gateway.resp import upstream_connection
 from badgeryoke.gateway.resp.upstream_connection import BEGUN_MS, RespUpstream
-from tests.gateway.resp.test_client_connection import ask, play
 from tests.gateway.test_dispatcher import KEYED, UNSAFE, NoCounter
-from tests.gateway.test_service import until
+from tests.support.running import ask, until
+from tests.support.running import run_test as play
 from tests.support.stand_ins import HOST, NOW_MS, Counter, connect, one_gateway, query, settings
 
 LINGER_0 = struct.pack("ii", 1, 0)
--- a/tests/gateway/test_cli.py
+++ b/tests/gateway/test_cli.py
@@ -14,7 +14,7 @@
 
 from badgeryoke.cli import main
 from badgeryoke.gateway.config.operators_file import Operators, OperatorsError, read_operators
-from badgeryoke.gateway.log_format import set_up
+from badgeryoke.gateway.log_format import configure_logging
 from tests.support.paths import ROOT
 
 main._laboratory()
@@ -102,7 +102,7 @@
     stream, root = StringIO(), logging.getLogger()
     before = root.handlers[:], root.level
     try:
-        set_up("json", "info", stream)
+        configure_logging("json", "info", stream)
         logging.getLogger("badgeryoke.gateway.dispatcher").warning(
             "counter believed %s", "split", extra={"fields": {"hidden": [1]}}
         )
--- a/tests/gateway/test_connecting.py
+++ b/tests/gateway/test_connecting.py
@@ -1,4 +1,4 @@
-"""Connections on their way up."""
+"""Connections that are being established, or never are."""
 
 from __future__ import annotations
 
@@ -15,14 +15,14 @@
 from badgeryoke.gateway.attempt import Attempt, AttemptEnd, AttemptStage, Request
 from badgeryoke.gateway.quota_counter.client import QuotaCounterClient
 from badgeryoke.gateway.resp.upstream_connection import RespUpstream
-from tests.gateway.resp.test_client_connection import play
+from tests.support.running import run_test
 from tests.support.stand_ins import HOST, NOW_MS
 
 
 @pytest.fixture
-def silent() -> Iterator[int]:
-    """The port of a machine whose connections never come up: its listener's queue is full, and it drops what
-    comes."""
+def unreachable_port() -> Iterator[int]:
+    """A port whose connections are never established: the listener's queue is full, and further ones are
+    dropped."""
     with contextlib.ExitStack() as stack:
         listener = stack.enter_context(socket.socket())
         listener.bind((HOST, 0))
@@ -32,46 +32,52 @@
         yield port
 
 
-def test_an_attempt_on_a_connection_that_never_comes_up_was_never_written(silent: int) -> None:
+def test_an_attempt_on_a_connection_never_established_was_never_written(unreachable_port: int) -> None:
     async def test() -> None:
         ends: asyncio.Queue[AttemptEnd] = asyncio.Queue()
         loop = ActorScheduler(asyncio.get_running_loop())
-        link = RespUpstream(
-            (HOST, silent), loop, lambda: NOW_MS, report_names=(), connect_ms=60.0, idle_ms=1000.0, most=4
+        upstream = RespUpstream(
+            (HOST, unreachable_port),
+            loop,
+            lambda: NOW_MS,
+            report_names=(),
+            connect_ms=60.0,
+            idle_ms=1000.0,
+            most=4,
         )
-        asked = Request("a1", "read", "plain", 7, 4000.0, 1.0, 2, safe=True)
-        link.start(Attempt(asked, 0, 1, NOW_MS, NOW_MS + 4000.0, lambda _, end: ends.put_nowait(end)))
+        request = Request("a1", "read", "plain", 7, 4000.0, 1.0, 2, safe=True)
+        upstream.start(Attempt(request, 0, 1, NOW_MS, NOW_MS + 4000.0, lambda _, end: ends.put_nowait(end)))
         end = await asyncio.wait_for(ends.get(), 5)  # without this a fault would only show as a hang
         assert (end.verdict, end.reached) == (Verdict.CONNECT_FAILED, AttemptStage.NOT_WRITTEN)
 
-    play(test)
+    run_test(test)
 
 
-def test_a_counter_call_on_a_connection_that_never_comes_up_added_nothing(silent: int) -> None:
+def test_a_counter_call_on_a_connection_never_established_added_nothing(unreachable_port: int) -> None:
     async def test() -> None:
-        totals: asyncio.Queue[CounterReply] = asyncio.Queue()
-        now = [NOW_MS]
-        link = QuotaCounterClient(
-            (HOST, silent), 50.0, ActorScheduler(asyncio.get_running_loop()), lambda: now[0]
+        replies: asyncio.Queue[CounterReply] = asyncio.Queue()
+        now_ms = [NOW_MS]
+        client = QuotaCounterClient(
+            (HOST, unreachable_port), 50.0, ActorScheduler(asyncio.get_running_loop()), lambda: now_ms[0]
         )
-        link.open()
-        link.add(7, 1.0, 1000.0, totals.put_nowait)
+        client.open()
+        client.add(7, 1.0, 1000.0, replies.put_nowait)
         await asyncio.sleep(0.01)
-        now[0] += 60.0
-        assert (await asyncio.wait_for(totals.get(), 5)).verdict is Verdict.CONNECT_FAILED
-        link.close()
+        now_ms[0] += 60.0
+        assert (await asyncio.wait_for(replies.get(), 5)).verdict is Verdict.CONNECT_FAILED
+        client.close()
 
-    play(test)
+    run_test(test)
 
 
-def test_the_end_of_a_connection_that_failed_at_once_is_told_too() -> None:
+def test_the_close_of_a_connection_that_failed_at_once_is_reported() -> None:
     async def test() -> None:
-        told: list[bool] = []
-        stream, coming_up = dial((HOST, 1), 1024)
+        reported: list[bool] = []
+        stream, connected = dial((HOST, 1), 1024)
         stream.close()  # as where connecting fails in the call itself
-        on_close(stream, lambda: told.append(True))
-        assert told == [True]
+        on_close(stream, lambda: reported.append(True))
+        assert reported == [True]
         with contextlib.suppress(StreamClosedError):
-            await coming_up
+            await connected
 
-    play(test)
+    run_test(test)
--- a/tests/gateway/test_counter_and_discovery.py
+++ b/tests/gateway/test_counter_and_discovery.py
@@ -1,4 +1,4 @@
-"""The counter link and the discovery watch on real sockets."""
+"""The quota counter's client and the discovery client, on real sockets."""
 
 from __future__ import annotations
 
@@ -7,213 +7,197 @@
 
 import pytest
 
-from badgeryoke.decisions.interface import CounterReply, EndpointList, EndpointState, ListScope, Verdict
+from badgeryoke.decisions.interface import EndpointList, EndpointState, ListScope, Verdict
 from badgeryoke.gateway.actor import ActorScheduler
 from badgeryoke.gateway.discovery.client import DiscoveryClient
 from badgeryoke.gateway.discovery.endpoint_list import EndpointSnapshot
-from badgeryoke.gateway.quota_counter.client import QuotaCounterClient
-from tests.gateway.resp.test_client_connection import play
-from tests.support.stand_ins import HOST, NOW_MS, Counter, Discovery, entry, roster
+from tests.support.counter import CounterCalls
+from tests.support.running import run_test
+from tests.support.stand_ins import HOST, Counter, Discovery, entry, roster
 
 
-class Calls:
-    """A counter link and the totals it gave, under a clock that is moved by hand."""
-
-    def __init__(self, port: int, timeout_ms: float = 50.0) -> None:
-        self.now = NOW_MS
-        self.got: asyncio.Queue[CounterReply] = asyncio.Queue()
-        self.link = QuotaCounterClient(
-            (HOST, port), timeout_ms, ActorScheduler(asyncio.get_running_loop()), lambda: self.now
-        )
-        self.link.open()
-
-    async def call(self, name: int, units: float = 1.0) -> CounterReply:
-        self.link.add(name, units, 1000.0, self.got.put_nowait)
-        return await self.got.get()
-
-    async def up(self) -> None:
-        while (await self.call(1, 0.0)).verdict is not Verdict.OK:
-            await asyncio.sleep(0)
-
-
-def test_answers_are_matched_in_order_also_after_a_time_out() -> None:
+def test_replies_are_matched_in_order_also_after_a_timeout() -> None:
     async def test() -> None:
         async with Counter() as counter:
-            calls = Calls(counter.port)
-            await calls.up()
+            calls = CounterCalls(counter.port)
+            await calls.connected()
             counter.held.clear()
-            calls.link.add(7, 3.0, 1000.0, calls.got.put_nowait)
+            calls.client.add(7, 3.0, 1000.0, calls.replies.put_nowait)
             while counter.totals["7"] == 0:
                 await asyncio.sleep(0)
-            calls.now += 50.0
-            late = await calls.got.get()
+            calls.now_ms += 50.0
+            late = await calls.replies.get()
             assert (late.name, late.verdict) == (7, Verdict.TIMEOUT)
-            calls.link.add(8, 5.0, 1000.0, calls.got.put_nowait)
+            calls.client.add(8, 5.0, 1000.0, calls.replies.put_nowait)
             counter.held.set()
-            total = await calls.got.get()  # the late answer of 7 is not taken for that of 8
+            total = await calls.replies.get()  # the late answer of 7 is not taken for that of 8
             assert (total.name, total.verdict, total.total) == (8, Verdict.OK, 5.0)
-            calls.link.close()
+            calls.client.close()
 
-    play(test)
+    run_test(test)
 
 
 @pytest.mark.parametrize(
     ("answer", "verdict"),
     [
-        (b"-BUSY\r\n", Verdict.QUEUE_FULL),
-        (b"-ERR no such call\r\n", Verdict.QUEUE_FULL),
-        (b"$3\r\nabc\r\n", Verdict.TIMEOUT),
-        (b"!!\r\n", Verdict.TIMEOUT),
-        (b"$1\r\n4\r\n$1\r\n4\r\n", Verdict.OK),
+        pytest.param(b"-BUSY\r\n", Verdict.QUEUE_FULL, id="overloaded"),
+        pytest.param(b"-ERR no such call\r\n", Verdict.QUEUE_FULL, id="error"),
+        pytest.param(b"$3\r\nabc\r\n", Verdict.TIMEOUT, id="no total"),
+        pytest.param(b"!!\r\n", Verdict.TIMEOUT, id="no RESP"),
+        pytest.param(b"$1\r\n4\r\n$1\r\n4\r\n", Verdict.OK, id="two replies"),
     ],
 )
-def test_what_the_counter_answers_becomes_a_verdict(answer: bytes, verdict: Verdict) -> None:
+def test_each_reply_of_the_counter_becomes_a_verdict(answer: bytes, verdict: Verdict) -> None:
     async def test() -> None:
         async with Counter() as counter:
-            calls = Calls(counter.port)
-            await calls.up()
+            calls = CounterCalls(counter.port)
+            await calls.connected()
             good, counter.answer = counter.answer, lambda total: answer
             assert (await calls.call(7)).verdict is verdict
             counter.answer = good
-            await calls.up()  # the link goes on, over a new connection where the old one is of no use
-            calls.link.close()
+            await calls.connected()  # the client goes on, over a new connection where the old one is unusable
+            calls.client.close()
 
-    play(test)
+    run_test(test)
 
 
-def test_a_counter_that_is_absent_adds_nothing_and_may_come_later() -> None:
+def test_an_unreachable_counter_adds_nothing_and_is_used_once_it_is_up() -> None:
     async def test() -> None:
         counter = Counter()
         async with counter:
             pass
-        calls = Calls(counter.port)
+        calls = CounterCalls(counter.port)
         assert (await calls.call(7)).verdict is Verdict.CONNECT_FAILED
         async with counter:
-            await calls.up()
+            await calls.connected()
             counter.held.clear()
-            calls.link.add(9, 1.0, 1000.0, calls.got.put_nowait)
+            calls.client.add(9, 1.0, 1000.0, calls.replies.put_nowait)
             while counter.totals["9"] == 0:
                 await asyncio.sleep(0)
-            counter.drop()  # written whole and lost: it may have been added
-            assert (await calls.got.get()).verdict is Verdict.TIMEOUT
-            calls.link.close()
+            counter.drop()  # written and lost: it may have been counted
+            assert (await calls.replies.get()).verdict is Verdict.TIMEOUT
+            calls.client.close()
 
-    play(test)
+    run_test(test)
 
 
-def test_a_counter_that_froze_is_left_for_a_new_connection() -> None:
+def test_a_frozen_counter_is_left_for_a_new_connection() -> None:
     async def test() -> None:
         async with Counter() as counter:
-            calls = Calls(counter.port, 1.0)
-            await calls.up()
+            calls = CounterCalls(counter.port, 1.0)
+            await calls.connected()
             counter.held.clear()
-            calls.link.add(7, 1.0, 1000.0, calls.got.put_nowait)
+            calls.client.add(7, 1.0, 1000.0, calls.replies.put_nowait)
             while counter.totals["7"] == 0:
                 await asyncio.sleep(0)
             before = counter.connections
             while counter.connections == before:
-                calls.now += 1.0
+                calls.now_ms += 1.0
                 await asyncio.sleep(0.001)
             counter.held.set()
-            calls.link.close()
+            calls.client.close()
 
-    play(test)
+    run_test(test)
 
 
-class Silent(Discovery):
-    """An agent that says nothing."""
+class SilentAgent(Discovery):
+    """An agent that never answers."""
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         await reader.read()
 
 
 class Watch:
-    """A host group and what it told."""
+    """A discovery client and its notifications."""
 
-    def __init__(self, port: int, known: EndpointSnapshot | None = None) -> None:
-        self.told: asyncio.Queue[tuple[EndpointList, dict[int, Any]]] = asyncio.Queue()
-        self.group = DiscoveryClient(
+    def __init__(self, port: int, cached: EndpointSnapshot | None = None) -> None:
+        self.notifications: asyncio.Queue[tuple[EndpointList, dict[int, Any]]] = asyncio.Queue()
+        self.client = DiscoveryClient(
             (HOST, port),
-            known,
+            cached,
             ActorScheduler(asyncio.get_running_loop()),
-            lambda members, hosts: self.told.put_nowait((members, hosts)),
+            lambda change, endpoints: self.notifications.put_nowait((change, endpoints)),
             1,
             lambda: 0.5,
         )
-        self.group.start()
+        self.client.start()
 
 
-def test_the_list_known_at_the_start_where_discovery_is_absent_then_the_whole_one_then_changes() -> None:
+def test_the_cached_discoveryis_used_until_discovery_sends_the_complete_one_and_then_changes() -> None:
     async def test() -> None:
         async with Discovery() as absent:
             port = absent.port
         watch = Watch(port, roster(entry("a", 9)))
-        first, hosts = await watch.told.get()
-        assert first.scope is ListScope.CACHED and [h.address[1] for h in hosts.values()] == [9]
-        list_ = Discovery(entry("a", 1), entry("b", 2))
-        list_.port = port
-        async with list_:
-            full, hosts = await watch.told.get()
-            assert full.scope is ListScope.FULL and len(hosts) == 2
+        first, endpoints = await watch.notifications.get()
+        assert first.scope is ListScope.CACHED and [one.address[1] for one in endpoints.values()] == [9]
+        discovery = Discovery(entry("a", 1), entry("b", 2))
+        discovery.port = port
+        async with discovery:
+            full, endpoints = await watch.notifications.get()
+            assert full.scope is ListScope.FULL and len(endpoints) == 2
             assert full.servers[0].id == first.servers[0].id  # the same name keeps its number
-            list_.change({"id": "a", "state": "left"})
-            change, hosts = await watch.told.get()
+            discovery.change({"id": "a", "state": "left"})
+            change, endpoints = await watch.notifications.get()
             assert (change.scope, change.servers[0].state) == (ListScope.CHANGES, EndpointState.GONE)
-            assert [h.id for h in hosts.values()] == ["b"]
-            while len(list_.calls) < 3:
+            assert [one.id for one in endpoints.values()] == ["b"]
+            while len(discovery.calls) < 3:
                 await asyncio.sleep(0)
-            assert list_.calls[0] == "/api/targets"
-            assert list_.calls[2].startswith("/api/targets?after=2&wait_ms=")
-            assert list_.connections == 1
-            watch.group.stop()
+            assert discovery.calls[0] == "/api/targets"
+            assert discovery.calls[2].startswith("/api/targets?after=2&wait_ms=")
+            assert discovery.connections == 1
+            watch.client.stop()
 
-    play(test)
+    run_test(test)
 
 
-def test_the_list_known_at_the_start_is_not_gone_by_before_discovery_had_its_time() -> None:
-    """What the agent holds counts as told: a fresh gateway would send to a server that drains."""
+def test_the_cached_discoveryis_not_used_before_discovery_had_time_to_answer() -> None:
+    """What the agent holds counts as notified: a new gateway would send to a draining server."""
 
     async def test() -> None:
-        async with Discovery(entry("a", 1, "leaving")) as list_:
-            watch = Watch(list_.port, roster(entry("a", 1)))
-            first, _ = await watch.told.get()
+        async with Discovery(entry("a", 1, "leaving")) as discovery:
+            watch = Watch(discovery.port, roster(entry("a", 1)))
+            first, _ = await watch.notifications.get()
             assert first.scope is ListScope.FULL and [s.state for s in first.servers] == [
                 EndpointState.DRAINING
             ]
-            watch.group.stop()
-        async with Silent() as agent:  # discovery is down
+            watch.client.stop()
+        async with SilentAgent() as agent:  # discovery is down
             watch = Watch(agent.port, roster(entry("a", 1)))
-            first, _ = await watch.told.get()
+            first, _ = await watch.notifications.get()
             assert first.scope is ListScope.CACHED
-            watch.group.stop()
+            watch.client.stop()
 
-    play(test)
+    run_test(test)
 
 
-@pytest.mark.parametrize("body", [b"{", b"[]", b'{"version":3,"full":true,"servers":[{"id":"a"}]}'])
-def test_a_malformed_list_is_a_failed_call_and_the_watch_goes_on(body: bytes) -> None:
+@pytest.mark.parametrize(
+    "body",
+    [b"{", b"[]", b'{"version":3,"full":true,"servers":[{"id":"a"}]}'],
+    ids=["no JSON", "no object", "an incomplete entry"],
+)
+def test_a_malformed_discoveryis_a_failed_poll_and_the_watch_goes_on(body: bytes) -> None:
     async def test() -> None:
-        async with Discovery(entry("a", 1)) as list_:
-            list_.raw.append(body)
-            watch = Watch(list_.port)
-            members, _ = await watch.told.get()
-            assert members.scope is ListScope.FULL and len(members.servers) == 1 and list_.connections == 2
-            watch.group.stop()
+        async with Discovery(entry("a", 1)) as discovery:
+            discovery.raw.append(body)
+            watch = Watch(discovery.port)
+            change, _ = await watch.notifications.get()
+            assert change.scope is ListScope.FULL and len(change.servers) == 1 and discovery.connections == 2
+            watch.client.stop()
 
-    play(test)
+    run_test(test)
 
 
-def test_a_lost_watch_goes_on_from_the_version_held() -> None:
+def test_a_lost_watch_resumes_from_the_version_held() -> None:
     async def test() -> None:
-        async with Discovery(entry("a", 1)) as list_:
-            watch = Watch(list_.port)
-            await watch.told.get()
-            while len(list_.calls) < 2:
+        async with Discovery(entry("a", 1)) as discovery:
+            watch = Watch(discovery.port)
+            await watch.notifications.get()
+            while len(discovery.calls) < 2:
                 await asyncio.sleep(0)
-            list_.drop()
-            while len(list_.calls) < 3:
+            discovery.drop()
+            while len(discovery.calls) < 3:
                 await asyncio.sleep(0.001)
-            assert "after=1" in list_.calls[2] and list_.connections == 2
-            watch.group.stop()
+            assert "after=1" in discovery.calls[2] and discovery.connections == 2
+            watch.client.stop()
 
-    play(test)
+    run_test(test)
--- a/tests/gateway/test_faults_by_stage.py
+++ b/tests/gateway/test_faults_by_stage.py
@@ -19,8 +19,8 @@
 from badgeryoke.decisions.policy.engine import DecisionEngine
 from badgeryoke.gateway import actor
 from badgeryoke.gateway.application import GatewayApplication
-from tests.gateway.resp.test_client_connection import play
-from tests.gateway.test_service import until
+from tests.support.running import run_test as play
+from tests.support.running import until
 from tests.support.stand_ins import (
     HOST,
     KEYED,
--- a/tests/gateway/test_golden_admin.py
+++ b/tests/gateway/test_golden_admin.py
@@ -4,14 +4,15 @@
 
 from dataclasses import replace
 
-from badgeryoke.gateway.admin import server
-from badgeryoke.gateway.admin.rendering import Gauges, render
+from badgeryoke.gateway.admin.calls import answer_call
+from badgeryoke.gateway.admin.rendering import Gauges, render_metrics
+from badgeryoke.gateway.admin.server import MAX_FLEET_LINE_BYTES
 from badgeryoke.gateway.application import GatewayApplication
 from badgeryoke.gateway.graceful_shutdown import ShutdownState
 from badgeryoke.gateway.metrics import COMPLETED, FAILED, REJECTED, Metrics
-from tests.gateway.resp.test_client_connection import ask, play
-from tests.gateway.test_service import until
 from tests.support.golden_files import assert_golden, golden, text_lines
+from tests.support.running import ask, until
+from tests.support.running import run_test as play
 from tests.support.stand_ins import (
     HOST,
     Backend,
@@ -39,7 +40,7 @@
     for _ in range(15):
         made.attempted()
     made.reloads, made.reload_errors = 16, 17
-    return render(made, Gauges(pending=18, members=19, members_unavailable=20))
+    return render_metrics(made, Gauges(pending=18, members=19, members_unavailable=20))
 
 
 def test_the_figures_are_the_golden_ones() -> None:
@@ -91,7 +92,7 @@
 def answers() -> list[str]:
     """What each line gets from a gateway that can, and from one that cannot."""
     return [
-        f"{kind} {line!r}: {server.answer(operated, line)!r}"
+        f"{kind} {line!r}: {answer_call(operated, line)!r}"
         for kind, operated in (("good", Operated(True, "")), ("bad", Operated(False, "why not")))
         for line in LINES
     ]
@@ -150,7 +151,7 @@
                     b"NONSENSE\n",
                     b"x" * 300 + b"\n",
                     b"FLEET " + b"x" * 300 + b"\n",
-                    b"FLEET " + b"x" * server.MOST_FLEET_LINE + b"\n",
+                    b"FLEET " + b"x" * MAX_FLEET_LINE_BYTES + b"\n",
                 ):
                     await call(line)
                 lines.append(f"client, resumed: {await ask(app, resp('PING'))!r}")
--- a/tests/gateway/test_golden_hot_restart.py
+++ b/tests/gateway/test_golden_hot_restart.py
@@ -11,9 +11,9 @@
 from badgeryoke.decisions import state_snapshot
 from badgeryoke.decisions.policy.engine import DecisionEngine
 from badgeryoke.gateway.hot_restart import transfer
-from tests.gateway.resp.test_client_connection import play
 from tests.support import policy_drive, samples
 from tests.support.golden_files import assert_golden, golden, text_lines
+from tests.support.running import run_test as play
 
 FIRST_SEED, SECOND_SEED = 15, 16
 EVENTS, EVENTS_AFTER = 1949, 400
--- a/tests/gateway/test_hot_restart.py
+++ b/tests/gateway/test_hot_restart.py
@@ -20,9 +20,9 @@
 from badgeryoke.gateway.config.model import Config
 from badgeryoke.gateway.graceful_shutdown import ShutdownState
 from badgeryoke.gateway.hot_restart import transfer
-from tests.gateway.resp.test_client_connection import play
-from tests.gateway.test_service import until
 from tests.support import samples
+from tests.support.running import run_test as play
+from tests.support.running import until
 from tests.support.stand_ins import (
     HOST,
     NOW_MS,
--- a/tests/gateway/test_operations.py
+++ b/tests/gateway/test_operations.py
@@ -13,8 +13,8 @@
 
 import pytest
 
-from badgeryoke.gateway.admin import server as management_front
-from badgeryoke.gateway.admin.rendering import Gauges, render
+from badgeryoke.gateway.admin import server as admin_server
+from badgeryoke.gateway.admin.rendering import Gauges, render_metrics
 from badgeryoke.gateway.application import GatewayApplication
 from badgeryoke.gateway.config.errors import ConfigError
 from badgeryoke.gateway.config.platform_file import read_config
@@ -28,8 +28,8 @@
 from badgeryoke.gateway.metrics import Metrics
 from badgeryoke.gateway.resp import client_connection as client_link_module
 from tests.decisions.test_simulator_adapter import PARAMS
-from tests.gateway.resp.test_client_connection import ask, play
-from tests.gateway.test_service import until
+from tests.support.running import ask, until
+from tests.support.running import run_test as play
 from tests.support.stand_ins import (
     HOST,
     Backend,
@@ -105,7 +105,7 @@
 
 
 def test_callers_that_finish_no_call_hold_up_nobody(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(management_front, "MOST_CALLERS", 4)
+    monkeypatch.setattr(admin_server, "MAX_CONNECTIONS", 4)
 
     async def test() -> None:
         async with operated() as (app, _):
@@ -160,7 +160,7 @@
 def test_labels_are_escaped_and_a_dropped_class_keeps_its_counts() -> None:
     made = Metrics(['a"\n\\'])
     made.add_classes(["b"])
-    text = render(made, Gauges(1, 2, 3))
+    text = render_metrics(made, Gauges(1, 2, 3))
     assert 'lb_downstream_requests{lane="a\\"\\n\\\\",result="completed"} 0\n' in text
     assert 'lane="b"' in text and "\nlb_pending 1\nlb_members 2\nlb_members_unavailable 3\n" in text
 
--- a/tests/gateway/test_parsers.py
+++ b/tests/gateway/test_parsers.py
@@ -1,4 +1,4 @@
-"""Tables of cases for everything that reads a wire or a file."""
+"""Parsers of wires and files: tables of valid and malformed input."""
 
 from __future__ import annotations
 
@@ -32,10 +32,20 @@
 ]
 
 
-@pytest.mark.parametrize(("data", "values"), RESP)
-def test_resp_is_read_whole_and_byte_by_byte(data: bytes, values: list[Any]) -> None:
-    whole = RespParser()
-    assert whole.feed(data) == values and whole.idle
+@pytest.mark.parametrize(
+    ("data", "values"),
+    RESP,
+    ids=[
+        "commands",
+        "simple strings, errors and integers",
+        "null and empty",
+        "nested arrays",
+        "line ends in a bulk string",
+    ],
+)
+def test_resp_values_are_parsed_in_any_pieces(data: bytes, values: list[Any]) -> None:
+    at_once = RespParser()
+    assert at_once.feed(data) == values and at_once.idle
     pieces = RespParser()
     got = [value for n in range(len(data)) for value in pieces.feed(data[n : n + 1])]
     assert got == values and [type(v) for v in got] == [type(v) for v in values] and pieces.idle
@@ -56,14 +66,27 @@
         b"+" + b"x" * 2000,
         b"$" + b"9" * 40 + b"\r\n",
     ],
+    ids=[
+        "inline command",
+        "array length not a number",
+        "negative bulk length",
+        "too many items",
+        "bulk string too long",
+        "bulk string longer than stated",
+        "fractional integer",
+        "no bulk length",
+        "nested too deep",
+        "line too long",
+        "bulk length too long",
+    ],
 )
-def test_what_is_no_resp_or_passes_a_bound_is_told(data: bytes) -> None:
+def test_malformed_or_oversized_resp_is_a_fault(data: bytes) -> None:
     parser = RespParser()
-    assert parser.feed(b"+OK\r\n" + data) == [Status(b"OK")]  # what was whole before it counts
+    assert parser.feed(b"+OK\r\n" + data) == [Status(b"OK")]  # complete values before it are returned
     assert parser.fault and parser.feed(b"+OK\r\n") == []
 
 
-def test_resp_is_written_so_that_it_reads_back() -> None:
+def test_encoded_resp_parses_back() -> None:
     words = [b"SVC.QUERY", b"", b"\r\n"]
     assert RespParser().feed(command(words) + bulk(b"v") + error("ERR two\r\nlines")) == [
         words,
@@ -82,14 +105,22 @@
         b"+OK\r\n",
         b"*1\r\n$-1\r\n",
     ],
+    ids=[
+        "nothing",
+        "half an array",
+        "array of an integer",
+        "half a bulk string",
+        "simple string",
+        "array of null",
+    ],
 )
-def test_commands_that_come_whole_are_read_as_those_in_pieces_are(tail: bytes) -> None:
-    """They take a shorter way through the parser."""
+def test_the_fast_path_parses_complete_commands_like_those_in_pieces(tail: bytes) -> None:
+    """Complete commands take a shorter way through the parser."""
     data = command([b"SVC.QUERY", b"", b"\r\n$1"]) + command([b"x" * 100]) + tail
-    whole, pieces = RespParser(), RespParser()
+    at_once, pieces = RespParser(), RespParser()
     in_pieces = [value for n in range(len(data)) for value in pieces.feed(data[n : n + 1])]
-    assert whole.feed(data) == in_pieces and whole.idle == pieces.idle and whole.held == pieces.held
-    assert whole.feed(b"$1\r\nx\r\n" * 2) == pieces.feed(b"$1\r\nx\r\n" * 2)
+    assert at_once.feed(data) == in_pieces and at_once.idle == pieces.idle and at_once.held == pieces.held
+    assert at_once.feed(b"$1\r\nx\r\n" * 2) == pieces.feed(b"$1\r\nx\r\n" * 2)
 
 
 @pytest.mark.parametrize(
@@ -100,8 +131,14 @@
         b"*3\r\n" + 2 * (b"$60\r\n" + b"x" * 60 + b"\r\n"),
         b"*1\r\n$ 1\r\na\r\n",
     ],
+    ids=[
+        "no line end after a bulk string",
+        "leading zero, then too long",
+        "total too long",
+        "space in a length",
+    ],
 )
-def test_the_short_way_knows_the_same_bounds(data: bytes) -> None:
+def test_the_fast_path_has_the_same_bounds(data: bytes) -> None:
     parser = RespParser(max_total=100)
     assert parser.feed(data) == [] and parser.fault
 
@@ -122,8 +159,12 @@
 ]
 
 
-@pytest.mark.parametrize(("data", "keep"), HTTP)
-def test_an_http_response_is_read_in_any_pieces(data: bytes, keep: bool) -> None:
+@pytest.mark.parametrize(
+    ("data", "keep"),
+    HTTP,
+    ids=["content length", "chunked", "connection close", "1xx first"],
+)
+def test_an_http_response_is_parsed_in_any_pieces(data: bytes, keep: bool) -> None:
     response = HttpResponse()
     assert [response.feed(data[n : n + 1]) for n in range(len(data))] == [False] * (len(data) - 1) + [True]
     assert (response.status, bytes(response.body), response.keep_alive) == (200, BODY, keep)
@@ -140,8 +181,17 @@
         b"HTTP/1.1 200 OK\r\n" + b"A: b\r\n" * 20_000,
         b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
     ],
+    ids=[
+        "no HTTP",
+        "503",
+        "negative length",
+        "too large a length",
+        "endless status line",
+        "too large a head",
+        "malformed chunk size",
+    ],
 )
-def test_a_malformed_http_response_is_told(data: bytes) -> None:
+def test_a_malformed_http_response_raises(data: bytes) -> None:
     with pytest.raises(ValueError):
         HttpResponse().feed(data)
 
@@ -160,14 +210,31 @@
         {"servers": [{**entry("a", 1), "state": []}]},
         {"servers": [{**entry("a", 1), "started_ms": True}]},
         {"version": "1", "servers": []},
-        # What floats cannot hold, and names, which would be looked up in the event loop, or are none.
+        # Numbers beyond a float, and host names, which would be resolved in the event loop.
         {"servers": [{**entry("a", 1), "weight": 10**400}]},
         {"servers": [{**entry("a", 1), "addr": "runner:80"}]},
         {"servers": [{**entry("a", 1), "addr": "a\0b:80"}]},
         {"servers": [{**entry("a", 1), "addr": "127.0.0.1:\u0663"}]},
     ],
+    ids=[
+        "null",
+        "list",
+        "no servers",
+        "entry not an object",
+        "id not a string",
+        "unknown state",
+        "address without a port",
+        "weight not a number",
+        "state not a string",
+        "started_ms a boolean",
+        "version a string",
+        "weight beyond a float",
+        "host name",
+        "null byte in an address",
+        "port not ASCII",
+    ],
 )
-def test_a_malformed_list_is_told(raw: Any) -> None:
+def test_a_malformed_endpoint_list_raises(raw: Any) -> None:
     with pytest.raises(ValueError):
         read_endpoint_snapshot(raw)
 
@@ -175,12 +242,13 @@
 @pytest.mark.parametrize(
     ("reply", "total"),
     [(b"12.5", 12.5), (b"-3", -3.0), (b"nan", None), (b"x", None), (7, None), (ErrorReply(b"BUSY"), None)],
+    ids=["fraction", "negative", "not a number", "text", "integer reply", "error reply"],
 )
 def test_a_total_is_a_finite_number_in_a_bulk_string(reply: Any, total: float | None) -> None:
     assert parse_total(reply) == total
 
 
-def test_a_counter_call_is_in_bounds() -> None:
+def test_an_increment_bounds_its_ttl() -> None:
     assert RespParser().feed(encode_increment(7, -2.5, 1e6) + encode_increment(7, 0.0, 0.0)) == [
         [b"INCRTTL", b"7", b"-2.5", b"60000"],
         [b"INCRTTL", b"7", b"0", b"1"],
@@ -204,8 +272,15 @@
         (struct.pack(">II", 1, 0x80 << 24 | 8), 5014),
         (avp(1, b"") * 200, 5012),
     ],
+    ids=[
+        "too short",
+        "length below the header",
+        "length beyond the data",
+        "vendor flag without a vendor",
+        "too many",
+    ],
 )
-def test_broken_avps_are_a_fault_with_a_result_code(body: bytes, result: int) -> None:
+def test_malformed_avps_are_a_fault_with_a_result_code(body: bytes, result: int) -> None:
     fault = codec.read_avps(body)
     assert isinstance(fault, codec.Fault) and fault.result == result
 
@@ -217,7 +292,7 @@
     assert avps(data)[263] == b"abc" and codec.units_of(made[2]) == 3
 
 
-def test_the_key_derives_from_the_identity_alone_and_from_all_of_it() -> None:
+def test_the_idempotency_key_derives_from_the_complete_request_identity_alone() -> None:
     one = RequestIdentity("h", 1, "s", 0)
     others = [
         RequestIdentity("h2", 1, "s", 0),
@@ -230,7 +305,7 @@
     assert len({one.key(), *(other.key() for other in others)}) == 6
 
 
-def test_answers_are_kept_for_their_time_and_in_bounds() -> None:
+def test_answers_are_cached_for_their_time_and_within_bounds() -> None:
     at = [0.0]
     repeats = DuplicateRequests(240.0, lambda: at[0], most=1)
     from badgeryoke.gateway.dispatcher import Failed
@@ -294,13 +369,30 @@
             "setting policy_limits.conn_idle_ms",
         ),
     ],
+    ids=[
+        "listen",
+        "discovery",
+        "counter missing",
+        "counter not an address",
+        "counter a host name",
+        "seed",
+        "limits",
+        "sockets",
+        "known",
+        "known address",
+        "known version",
+        "settings",
+        "settings.me",
+        "settings without rules",
+        "conn_idle_ms",
+    ],
 )
-def test_faulty_configuration_names_its_key(change: dict[str, Any], key: str, tmp_path: Path) -> None:
+def test_invalid_configuration_names_its_key(change: dict[str, Any], key: str, tmp_path: Path) -> None:
     with pytest.raises(ConfigError, match=key):
         read_config(written(tmp_path, {**GOOD, **change}), tmp_path)
 
 
-def test_configuration_that_is_no_json_is_told(tmp_path: Path) -> None:
+def test_configuration_that_is_not_json_raises(tmp_path: Path) -> None:
     with pytest.raises(ConfigError, match="LB_CONFIG"):
         read_config({}, tmp_path)
     with pytest.raises(ConfigError, match="LB_CONFIG"):
@@ -328,13 +420,29 @@
         (ON + '[classes]\npay = "read"', "classes.pay"),
         (ON + "[classes]\ncheck = []", "classes.check"),
     ],
+    ids=[
+        "enabled not a boolean",
+        "no origin host",
+        "listen not an address",
+        "listen beyond loopback",
+        "clients not a list",
+        "watchdog too short",
+        "plan key not a number",
+        "unknown plan",
+        "no TOML",
+        "plan not a string",
+        "check class unknown",
+        "debit class idempotent",
+        "unknown class key",
+        "class not a string",
+    ],
 )
-def test_a_faulty_deploy_file_names_its_key(text: str, key: str, tmp_path: Path) -> None:
+def test_an_invalid_diameter_file_names_its_key(text: str, key: str, tmp_path: Path) -> None:
     with pytest.raises(ConfigError, match=key):
         read_config(written(tmp_path, GOOD, text), tmp_path)
 
 
-def test_the_deploy_file_turns_the_front_on(tmp_path: Path) -> None:
+def test_the_diameter_file_enables_diameter(tmp_path: Path) -> None:
     text = ON + 'listen = "127.0.0.1:3868"\n[plans]\n1 = "plain"\n[classes]\ncheck = "read"'
     made = read_config(written(tmp_path, GOOD, text), tmp_path)
     assert made.diameter is not None and made.diameter.plans == {1: "plain"}
@@ -345,7 +453,7 @@
     assert alone == made.diameter
 
 
-def test_the_deploy_file_in_the_repository_is_off_and_sound(tmp_path: Path) -> None:
+def test_the_diameter_file_in_the_repository_is_disabled_and_valid(tmp_path: Path) -> None:
     text = (ROOT / "deploy/diameter.toml").read_text()
     assert (
         read_config(written(tmp_path, GOOD, text), tmp_path).diameter is None
--- a/tests/gateway/test_reload.py
+++ b/tests/gateway/test_reload.py
@@ -19,9 +19,9 @@
 from badgeryoke.gateway.config.model import Config
 from badgeryoke.gateway.config.platform_file import read_config
 from tests.decisions.test_simulator_adapter import PARAMS
-from tests.gateway.resp.test_client_connection import ask, play
-from tests.gateway.test_service import until
 from tests.support import samples
+from tests.support.running import ask, until
+from tests.support.running import run_test as play
 from tests.support.stand_ins import (
     HOST,
     KEYED,
--- a/tests/gateway/test_response_stream.py
+++ b/tests/gateway/test_response_stream.py
@@ -11,8 +11,8 @@
 from badgeryoke.gateway.resp import upstream_connection as server_link_module
 from badgeryoke.gateway.resp.codec import MAX_BULK, MAX_LONG, Passed, RespParser
 from badgeryoke.gateway.response_stream import WINDOW, WINDOW_LEAST, BufferBudget, ResponseStream
-from tests.gateway.resp.test_client_connection import ask, play
-from tests.gateway.test_service import until
+from tests.support.running import ask, until
+from tests.support.running import run_test as play
 from tests.support.stand_ins import connect, one_gateway, query
 
 TAIL = b"\r\n$13\r\nused=1,cost=2\r\n$23\r\ninflight=1,latency_ms=9\r\n"
--- a/tests/gateway/test_service.py
+++ b/tests/gateway/test_service.py
@@ -10,7 +10,6 @@
 import socket
 import subprocess
 import sys
-from collections.abc import Callable
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
@@ -27,9 +26,10 @@
 from badgeryoke.gateway.resp.client_connection import MOST_FAULTS
 from badgeryoke.gateway.resp.upstream_connection import RespUpstream, settle
 from tests.decisions.test_simulator_adapter import PARAMS
-from tests.gateway.resp.test_client_connection import ask, play
-from tests.gateway.test_counter_and_discovery import Calls
+from tests.support.counter import CounterCalls
 from tests.support.paths import ROOT
+from tests.support.running import ask, until
+from tests.support.running import run_test as play
 from tests.support.stand_ins import (
     HOST,
     NOW_MS,
@@ -49,11 +49,6 @@
 # Reload -----------------------------------------------------------------------------------------------
 
 
-async def until(true: Callable[[], Any]) -> None:
-    while not true():
-        await asyncio.sleep(0)
-
-
 def test_a_reload_moves_discovery_and_counter_and_costs_no_query_nor_charge() -> None:
     async def test() -> None:
         async with (
@@ -178,20 +173,20 @@
 
     async def test() -> None:
         async with Counter() as counter:
-            calls = Calls(counter.port)
-            await calls.up()
+            calls = CounterCalls(counter.port)
+            await calls.connected()
             good, counter.answer = counter.answer, lambda _: spoilt
-            calls.link.add(7, 2.0, 1000.0, calls.got.put_nowait)
+            calls.client.add(7, 2.0, 1000.0, calls.replies.put_nowait)
             await until(lambda: counter.totals["7"])
             counter.answer = good
             if spoilt.startswith(b"$9"):  # only its time-out tells
                 for _ in range(200):
                     await asyncio.sleep(0)
-                calls.now += 51.0
-            assert (await calls.got.get()).verdict is Verdict.TIMEOUT
-            await calls.up()
+                calls.now_ms += 51.0
+            assert (await calls.replies.get()).verdict is Verdict.TIMEOUT
+            await calls.connected()
             assert (await calls.call(7)).total == 3.0 and counter.connections == 2
-            calls.link.close()
+            calls.client.close()
 
     play(test)
 
--- /dev/null
+++ b/tests/support/discovery.py
@@ -0,0 +1,226 @@
+"""Discovery agents that behave as they are told, and the discovery clients of many gateways."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import random
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+from enum import Enum
+from typing import Any
+
+from badgeryoke.decisions.interface import EndpointList, EndpointState
+from badgeryoke.gateway.actor import ActorScheduler
+from badgeryoke.gateway.discovery.client import DiscoveryClient
+from badgeryoke.gateway.discovery.endpoint_list import EndpointSnapshot
+from tests.support.stand_ins import HOST, Standin, entry
+
+OK = b"HTTP/1.1 200 OK\r\n"
+OVERLOADED = b"HTTP/1.1 503 No room\r\nContent-Length: 0\r\n\r\n"
+GONE = {"id": "a", "state": "left"}
+
+
+class AgentMood(Enum):
+    """How an agent answers polls."""
+
+    ANSWERING = "answering"
+    SILENT = "silent"
+    SILENT_AFTER_FIRST = "silent after the first poll of a connection"
+    OVERLOADED = "overloaded"
+
+
+class VersionedAgent(Standin):
+    """Answers with the complete endpoint list, then with changes by version."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.history: list[dict[str, Any]] = [entry("a", 1), entry("b", 2)]  # version n: the first n
+        self.changed = asyncio.Event()
+        self.mood = AgentMood.ANSWERING
+        self.polled_at: list[float] = []
+        self.abandoned_at: list[float] = []  # when polls that stayed unanswered were given up
+        self.indent: int | None = None
+
+    async def __aenter__(self) -> VersionedAgent:
+        # The backlog: all gateways connect at once.
+        self.server = await asyncio.start_server(self._connected, HOST, 0, backlog=1024)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    def publish(self, change: dict[str, Any]) -> None:
+        """Add a change to the list, and answer the polls that wait for one."""
+        self.history.append(change)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        first = True
+        while True:
+            path = (await reader.readuntil(b"\r\n\r\n")).decode().split(" ")[1]
+            self.polled_at.append(asyncio.get_running_loop().time())
+            if self.mood is AgentMood.SILENT or (self.mood is AgentMood.SILENT_AFTER_FIRST and not first):
+                await reader.read()
+                self.abandoned_at.append(asyncio.get_running_loop().time())
+                return
+            first = False
+            parameters = dict(part.split("=") for part in path.partition("?")[2].split("&") if part)
+            version = int(parameters.get("after", 0))
+            if self.mood is AgentMood.OVERLOADED:
+                writer.write(OVERLOADED)
+                continue
+            if version >= len(self.history):
+                with contextlib.suppress(TimeoutError):
+                    await asyncio.wait_for(self.changed.wait(), int(parameters["wait_ms"]) / 1000)
+                if self.mood is not AgentMood.ANSWERING:
+                    await reader.read()
+                    return
+            body = json.dumps(
+                {"version": len(self.history), "full": not version, "servers": self.history[version:]},
+                indent=self.indent,
+            ).encode()
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
+
+
+class WatchingFleet:
+    """The discovery clients of many gateways, and when each was notified of what."""
+
+    def __init__(
+        self,
+        port: int,
+        clients: int,
+        gateway_count: int = 0,
+        cached: EndpointSnapshot | None = None,
+        draw: Callable[[], float] | None = None,
+    ) -> None:
+        """`gateway_count`: of the fleet, as the settings tell the clients, where it is not `clients`."""
+        loop = asyncio.get_running_loop()
+        self.notifications: list[list[tuple[float, EndpointList]]] = [[] for _ in range(clients)]
+
+        def record(own: list[tuple[float, EndpointList]]) -> Callable[[EndpointList, object], None]:
+            return lambda change, _: own.append((loop.time(), change))
+
+        self.clients = [
+            DiscoveryClient(
+                (HOST, port),
+                cached,
+                ActorScheduler(loop),
+                record(own),
+                gateway_count or clients,
+                draw or random.Random(n).random,
+            )
+            for n, own in enumerate(self.notifications)
+        ]
+        for client in self.clients:
+            client.start()
+
+    def all_notified_of_gone_at(self) -> float:
+        """When the last client was notified of an endpoint that is gone; raises StopIteration where one was
+        not."""
+        return max(
+            next(at for at, change in own if any(s.state is EndpointState.GONE for s in change.servers))
+            for own in self.notifications
+        )
+
+    def __enter__(self) -> WatchingFleet:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        for client in self.clients:
+            client.stop()
+
+
+# Agents that follow a script -------------------------------------------------------------------------------
+
+Act = Callable[[asyncio.StreamWriter], Awaitable[bool]]  # answers one poll; False: the connection ends
+
+
+class ScriptedAgent(Standin):
+    """Answers the polls with one act after another, and stays silent when there is none left."""
+
+    def __init__(self, *acts: Act) -> None:
+        super().__init__()
+        self.acts = list(acts)
+        self.polls: list[tuple[float, int, str]] = []  # when, on which connection, for which path
+        self.answered_at: list[float] = []
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        loop, number, more = asyncio.get_running_loop(), self.connections, True
+        while more:
+            path = (await reader.readuntil(b"\r\n\r\n")).decode().split(" ")[1]
+            self.polls.append((loop.time(), number, path))
+            if not self.acts:
+                await reader.read()
+                return
+            more = await self.acts.pop(0)(writer)
+            self.answered_at.append(loop.time())
+
+
+def sends(*pieces: bytes, interval_s: float | None = None, keep_open: bool = False) -> Act:
+    """Send these pieces, then close in good order."""
+
+    async def act(writer: asyncio.StreamWriter) -> bool:
+        for piece in pieces:
+            writer.write(piece)
+            if interval_s is not None:
+                await asyncio.sleep(interval_s)
+        return keep_open
+
+    return act
+
+
+def sends_then_resets(data: bytes, delay_s: float) -> Act:
+    """Send data, then reset the connection."""
+
+    async def act(writer: asyncio.StreamWriter) -> bool:
+        writer.write(data)
+        await asyncio.sleep(delay_s)
+        connection = writer.get_extra_info("socket")
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        writer.transport.abort()
+        return False
+
+    return act
+
+
+def responds(body: bytes, keep_open: bool = True) -> Act:
+    """Send a valid response."""
+    close = b"" if keep_open else b"Connection: close\r\n"
+    return sends(
+        OK + close + b"Content-Length: %d\r\n\r\n" % len(body) + body,
+        keep_open=keep_open,
+    )
+
+
+def responds_slowly(body: bytes, seconds: float, delay_s: float = 0.0, early: bytes = b"") -> Act:
+    """Send `early`, and after the delay a response, its body in ten pieces over that many seconds."""
+
+    async def act(writer: asyncio.StreamWriter) -> bool:
+        writer.write(early)
+        await asyncio.sleep(delay_s)
+        writer.write(b"" if early.startswith(OK) else OK + b"Content-Length: %d\r\n\r\n" % len(body))
+        for n in range(10):
+            await asyncio.sleep(seconds / 10)
+            writer.write(body[n * len(body) // 10 : (n + 1) * len(body) // 10])
+        return True
+
+    return act
+
+
+def responds_before_a_stall(body: bytes, seconds: float) -> Act:
+    """Send a response, then both machines stall: it and the timeout are found in one turn of the loop."""
+
+    async def act(writer: asyncio.StreamWriter) -> bool:
+        await responds(body)(writer)
+        loop: Any = asyncio.get_running_loop()
+        loop.passed_s += seconds
+        return True
+
+    return act
+
+
+def chunked(body: bytes) -> bytes:
+    """A response whose body is one chunk."""
+    return OK + b"Transfer-Encoding: chunked\r\n\r\n%x\r\n%b\r\n0\r\n\r\n" % (len(body), body)
--- /dev/null
+++ b/tests/support/virtual_time.py
@@ -0,0 +1,46 @@
+"""An event loop with real sockets and virtual time, for tests of long time limits."""
+
+from __future__ import annotations
+
+import asyncio
+import selectors
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+SETTLE_S = 0.0001  # of real time: loopback delivers a write before the write call is over
+TEST_TIMEOUT_S = 600.0  # of virtual time
+
+
+class VirtualTimeLoop(asyncio.SelectorEventLoop):
+    """Where no socket has anything to report, the clock jumps to the next timer."""
+
+    def __init__(self) -> None:
+        self.passed_s = 0.0
+        super().__init__(selectors.DefaultSelector())
+        selector: Any = self._selector  # type: ignore[attr-defined]
+        real_select = selector.select
+
+        def select(timeout: float | None = None) -> Any:
+            if (events := real_select(0)) or timeout == 0:
+                return events
+            time.sleep(SETTLE_S)
+            if not (events := real_select(0)) and timeout:
+                self.passed_s += timeout
+            return events
+
+        selector.select = select
+
+    def time(self) -> float:
+        return self.passed_s
+
+
+def run_in_virtual_time(test: Callable[[], Awaitable[None]]) -> None:
+    """Run a test to its end; raises TimeoutError where it takes too long."""
+    with asyncio.Runner(loop_factory=VirtualTimeLoop) as runner:
+        runner.run(asyncio.wait_for(test(), TEST_TIMEOUT_S))
+
+
+def most_in_a_window(times: list[float], window: float) -> int:
+    """The most of these moments that lie in any window of that length."""
+    return max((sum(at <= other < at + window for other in times) for at in times), default=0)
