--- a/badgeryoke/gateway/config/diameter_file.py
+++ b/badgeryoke/gateway/config/diameter_file.py
@@ -49,6 +49,7 @@
     settings: Settings
 
     def read(self) -> DiameterConfig:
+        """Validate all values, in the order of the file; raises ConfigError."""
         origin_host, origin_realm = self._identity("origin_host"), self._identity("origin_realm")
         listen = self._listen()
         plans = self._plans()
