--- a/badgeryoke/gateway/discovery/endpoint_list.py
+++ b/badgeryoke/gateway/discovery/endpoint_list.py
@@ -41,8 +41,8 @@
     """Validate an endpoint list, as parsed from its JSON; raises ValueError naming the key at fault."""
     if not isinstance(raw, dict) or not isinstance(raw.get("servers"), list):
         raise ValueError("servers: expected a list")
-    endpoints = tuple(_read_endpoint(entry) for entry in raw["servers"])
-    return EndpointSnapshot(int(_read_number(raw, "version", 0)), raw.get("full") is True, endpoints)
+    endpoints = [_read_endpoint(entry) for entry in raw["servers"]]
+    return EndpointSnapshot(int(_read_number(raw, "version", 0)), raw.get("full") is True, tuple(endpoints))
 
 
 def _read_endpoint(entry: object) -> Endpoint:
@@ -51,15 +51,16 @@
     endpoint_id, state = entry.get("id"), entry.get("state")
     if not isinstance(endpoint_id, str) or not isinstance(state, str) or state not in STATES:
         raise ValueError("servers: id or state missing or unknown")
+    endpoint_state = STATES[state]
     return Endpoint(
-        id=endpoint_id,
-        address=_read_address(entry, STATES[state]),
-        zone=str(entry.get("zone", "")),
-        kind=str(entry.get("kind", "")),
-        cell=int(_read_number(entry, "cell", 0)),
-        state=STATES[state],
-        weight=_read_number(entry, "weight", 1.0),
-        started_ms=_read_number(entry, "started_ms", 0),
+        endpoint_id,
+        _read_address(entry, endpoint_state),
+        str(entry.get("zone", "")),
+        str(entry.get("kind", "")),
+        int(_read_number(entry, "cell", 0)),
+        endpoint_state,
+        _read_number(entry, "weight", 1.0),
+        _read_number(entry, "started_ms", 0),
     )
 
 
