--- a/badgeryoke/gateway/config/operators_file.py
+++ b/badgeryoke/gateway/config/operators_file.py
@@ -68,9 +68,9 @@
     if not isinstance(section, dict):
         faults.append(f"fleet: expected a table, got {section!r}")
     elif section.get("enabled", False) is not False or (all_sections and set(section) > {"enabled"}):
-        from badgeryoke.gateway.cluster.settings import read_fleet
+        from badgeryoke.gateway.cluster.settings import read_cluster_settings
 
-        fleet, fleet_faults = read_fleet(section)
+        fleet, fleet_faults = read_cluster_settings(section)
         faults += fleet_faults
     if faults:
         raise OperatorsError([f"{path.name}: {fault}" for fault in faults])
