--- a/badgeryoke/cluster/connection_limits/limits.py
+++ b/badgeryoke/cluster/connection_limits/limits.py
@@ -26,7 +26,8 @@
 from badgeryoke.cluster.connection_limits.lease_timing import CLOSE_BEFORE_EXPIRY_MS, connection_lease_ms
 from badgeryoke.cluster.errors import InvalidCall, NotFound
 from badgeryoke.cluster.invariants import Invariants, Rule
-from badgeryoke.cluster.leases.lease_pool import EDGE, LeaseGrant, LeasePool, LeaseShare
+from badgeryoke.cluster.leases.lease import EPSILON, LeaseGrant, LeaseRequest, LeaseShare
+from badgeryoke.cluster.leases.lease_pool import LeasePool
 from badgeryoke.cluster.messages import MemberId
 from badgeryoke.cluster.state_machine.part import ApplyResult, Command, LeaderView
 from badgeryoke.cluster.timings import Timings
@@ -37,7 +38,7 @@
 
 @dataclass(slots=True)
 class ServerLimit:
-    """One server's limit: `pool.aim` is the limit, and `pool.whole` is above it while more is granted than
+    """One server's limit: `pool.target` is the limit, and `pool.capacity` is above it while more is granted than
     a lowered limit."""
 
     idle_timeout_ms: float
@@ -92,7 +93,7 @@
         return ApplyResult({"granted": int(limit.pool.granted())})
 
     def _forget_if_unused(self, server: str) -> None:
-        if self.servers[server].removed and not self.servers[server].pool.held:
+        if self.servers[server].removed and not self.servers[server].pool.leases:
             del self.servers[server]
 
     def _grant_leases(self, command: RequestConnectionLeases) -> ApplyResult:
@@ -109,7 +110,7 @@
             StaleLease(holder, server, share.number)
             for server, limit in self.servers.items()
             if server_bucket(server) == command.bucket
-            for holder, share in limit.pool.held.items()
+            for holder, share in limit.pool.leases.items()
             if holder != command.holder and machine_of(holder) == machine
         ]
 
@@ -119,18 +120,20 @@
             return ConnectionLease(request.server, LeaseRefusal.LIMIT_UNKNOWN)
         pool = limit.pool
         granted_before = pool.granted()
-        pool.last = self._last_lease_number
-        grant = pool.ask(holder, request.lease_number, request.keep, request.wanted, 0.0, self._invariants)
+        pool.last_number = self._last_lease_number
+        grant = pool.request(
+            LeaseRequest(holder, request.lease_number, request.keep, request.wanted, 0.0), self._invariants
+        )
         if not isinstance(grant, LeaseGrant):  # the request keeps more than is held, or of an expired lease
             return ConnectionLease(request.server, LeaseRefusal.LEASE_EXPIRED)
-        share = pool.held.get(holder)
+        share = pool.leases.get(holder)
         if share is None:
             self._forget_if_unused(request.server)
-            return ConnectionLease(request.server, 0, spare=max(int(grant.spare), 0))
-        target = self._grow_to_target(holder, request, pool, share, grant.fair)
+            return ConnectionLease(request.server, 0, spare=max(int(grant.slack), 0))
+        target = self._grow_to_target(holder, request, pool, share, grant.fair_share)
         self._check_grant(request.server, pool, share, granted_before)
-        spare = max(int(pool.aim - pool.granted()), 0)
-        return ConnectionLease(request.server, share.number, int(share.part), target, spare)
+        spare = max(int(pool.target - pool.granted()), 0)
+        return ConnectionLease(request.server, share.number, int(share.share), target, spare)
 
     def _grow_to_target(
         self,
@@ -145,19 +148,19 @@
         A fair share of 0.12 is one connection for those who come first, or nobody would have any.  What is
         left beyond the whole connections of the fair shares goes to nobody while another has less than those,
         or it would circulate between holders that have them already."""
-        whole_share = int(fair + EDGE)
+        whole_share = int(fair + EPSILON)
         others_short = any(
-            other.part + EDGE < min(other.wish, whole_share)
-            for name, other in pool.held.items()
+            other.share + EPSILON < min(other.wanted, whole_share)
+            for name, other in pool.leases.items()
             if name != holder
         )
-        target = min(whole_share if others_short else math.ceil(fair - EDGE), request.wanted)
+        target = min(whole_share if others_short else math.ceil(fair - EPSILON), request.wanted)
         granted = pool.granted()
-        if share.part < target and pool.aim - granted >= 1.0 - EDGE:
+        if share.share < target and pool.target - granted >= 1.0 - EPSILON:
             pool.grow(holder, 1.0)
             granted += 1.0
-        if pool.aim - granted >= 1.0 - EDGE and not others_short:
-            target = max(target, int(share.part))  # nobody is short: idle connections may stay open
+        if pool.target - granted >= 1.0 - EPSILON and not others_short:
+            target = max(target, int(share.share))  # nobody is short: idle connections may stay open
         return target
 
     def _check_grant(self, server: str, pool: LeasePool, share: LeaseShare, granted_before: float) -> None:
@@ -169,10 +172,10 @@
             ),
         )
         self._last_lease_number = share.number
-        granted, limit = pool.granted(), pool.aim
+        granted, limit = pool.granted(), pool.target
         self._invariants.check(
             Rule.CONNECTIONS_FIT,
-            granted <= max(limit, granted_before) + EDGE,
+            granted <= max(limit, granted_before) + EPSILON,
             lambda: f"{server}: {granted:g} of {limit:g} granted, {granted_before:g} before",
         )
 
@@ -180,7 +183,7 @@
         released = 0
         for lease in command.leases:
             limit = self.servers.get(lease.server)
-            if limit is not None and limit.pool.end(command.holder, lease.lease_number):
+            if limit is not None and limit.pool.release(command.holder, lease.lease_number):
                 released += 1
                 self._forget_if_unused(lease.server)
         return ApplyResult({"ended": released})
@@ -203,7 +206,7 @@
         expired: dict[tuple[MemberId, str], list[LeaseReference]] = {}
         for server, limit in self.servers.items():
             expiry_ms = self.expiry_after_ms(limit.idle_timeout_ms)
-            for holder, lease_number in limit.pool.over(view.now, expiry_ms, view.lead_since):
+            for holder, lease_number in limit.pool.expired(view.now, expiry_ms, view.lead_since):
                 leases = expired.setdefault((holder, server_bucket(server)), [])
                 leases.append(LeaseReference(server, lease_number))
         return [
@@ -214,15 +217,15 @@
     def seen(self, now: float) -> None:
         """See `StateMachinePart.seen`."""
         for limit in self.servers.values():
-            limit.pool.seen(now)
+            limit.pool.mark_seen(now)
 
     def summary(self) -> dict[str, Any]:
         """For operators, by the keys of the interface: limit, connections granted, number of holders."""
         return {
             server: {
-                "limit": int(limit.pool.aim),
+                "limit": int(limit.pool.target),
                 "granted": int(limit.pool.granted()),
-                "holders": len(limit.pool.held),
+                "holders": len(limit.pool.leases),
             }
             for server, limit in self.servers.items()
         }
--- a/badgeryoke/cluster/state_machine/machine.py
+++ b/badgeryoke/cluster/state_machine/machine.py
@@ -20,7 +20,9 @@
 from badgeryoke.cluster.errors import DuplicateId, InvalidCall
 from badgeryoke.cluster.invariants import Invariants, Rule
 from badgeryoke.cluster.placement import directory
-from badgeryoke.cluster.reservations import contract
+from badgeryoke.cluster.reservations.admission import ContractRegistry
+from badgeryoke.cluster.reservations.commands import FLEET_COMMANDS, TENANT_COMMANDS
+from badgeryoke.cluster.reservations.guaranteed_rates import GuaranteedRates
 from badgeryoke.cluster.rolling_restart.commands import ROLLING_RESTART_COMMANDS
 from badgeryoke.cluster.rolling_restart.waves import RollingRestarts
 from badgeryoke.cluster.state_machine.part import FLEET, ApplyResult, Command, LeaderView
@@ -60,9 +62,9 @@
 REGISTRY = CommandRegistry()
 REGISTRY.add("promises", key_value.COMMANDS, lambda timings, rules: key_value.KeyValueStore(), False)
 REGISTRY.add("placing", directory.COMMANDS, directory.PlacementDirectory, True)
-REGISTRY.add("contracts", contract.FLEET_COMMANDS, contract.ContractRegistry, True)
+REGISTRY.add("contracts", FLEET_COMMANDS, ContractRegistry, True)
 REGISTRY.add("rolls", ROLLING_RESTART_COMMANDS, lambda timings, rules: RollingRestarts(rules), True)
-REGISTRY.add("floors", contract.TENANT_COMMANDS, contract.GuaranteedRates, False)
+REGISTRY.add("floors", TENANT_COMMANDS, GuaranteedRates, False)
 REGISTRY.add(
     "connections",
     CONNECTION_LIMIT_COMMANDS,
--- a/badgeryoke/gateway/config/platform_file.py
+++ b/badgeryoke/gateway/config/platform_file.py
@@ -13,7 +13,7 @@
 import ujson
 
 from badgeryoke.decisions.interface import Settings
-from badgeryoke.decisions.settings_parser import Reader, settings_from, unknown
+from badgeryoke.decisions.settings_parser import SettingsReader, parse_settings, unknown_keys
 from badgeryoke.gateway.address import Address
 from badgeryoke.gateway.config.diameter_file import DIAMETER_FILE, read_diameter
 from badgeryoke.gateway.config.errors import ConfigError
@@ -113,30 +113,30 @@
 def _read_settings(raw: Mapping[str, object]) -> _SettingsSection:
     table = read_table("settings", raw.get("settings"))
     try:
-        settings = settings_from(table)
-        reader = Reader(table)
-        policy_limits = reader.table("policy_limits")
+        settings = parse_settings(table)
+        reader = SettingsReader(table)
+        policy_limits = reader.section("policy_limits")
         section = _SettingsSection(
             settings=settings,
-            connect_ms=policy_limits.figure("dial_timeout_ms", least=MIN_CONNECT_MS),
-            idle_ms=policy_limits.figure("conn_idle_ms", least=MIN_IDLE_MS),
-            report_names=_read_report_names(reader.table("feedback")),
+            connect_ms=policy_limits.number("dial_timeout_ms", least=MIN_CONNECT_MS),
+            idle_ms=policy_limits.number("conn_idle_ms", least=MIN_IDLE_MS),
+            report_names=_read_report_names(reader.section("feedback")),
         )
     except ValueError as error:
         raise ConfigError(str(error)) from None
-    if keys := unknown(table):
+    if keys := unknown_keys(table):
         shown = ", ".join(key[:MAX_LOGGED_KEY_CHARACTERS] for key in keys[:MAX_LOGGED_KEYS])
         log.warning("settings unknown to this program: %s", shown)
     return section
 
 
-def _read_report_names(feedback: Reader) -> tuple[str, ...]:
+def _read_report_names(feedback: SettingsReader) -> tuple[str, ...]:
     """The fields of the load reports that come with answers."""
-    fields = feedback.value("fields")
+    fields = feedback.raw_value("fields")
     if not isinstance(fields, list) or not all(isinstance(name, str) for name in fields):
         shown = repr(fields)[:SHOWN_CHARACTERS]
         raise ValueError(f"setting feedback.fields: expected a list of names, got {shown}")
-    return tuple(fields) if feedback.word("how", LOAD_REPORTS) else ()
+    return tuple(fields) if feedback.choice("how", LOAD_REPORTS) else ()
 
 
 def _read_seed(raw: Mapping[str, object]) -> int:
