--- a/badgeryoke/gateway/application.py
+++ b/badgeryoke/gateway/application.py
@@ -18,8 +18,10 @@
 
 from badgeryoke.decisions.interface import CounterReply, EndpointList, EndpointState, Verdict
 from badgeryoke.gateway.actor import ActorScheduler, WallClock
-from badgeryoke.gateway.config.operators_file import NAME
-from badgeryoke.gateway.config.platform_file import Config, ConfigError, lacking
+from badgeryoke.gateway.config.errors import ConfigError
+from badgeryoke.gateway.config.file_shape import first_missing_key
+from badgeryoke.gateway.config.model import Config
+from badgeryoke.gateway.config.operators_file import OPERATORS_FILE
 from badgeryoke.gateway.diameter.client_connection import DiameterListener
 from badgeryoke.gateway.diameter.peer import PeerIdentity
 from badgeryoke.gateway.diameter.upstream_connection import DiameterUpstream
@@ -158,7 +160,7 @@
         if (fleet := config.operators.fleet) is not None and all(
             one.name != (fleet.me or config.name) for one in fleet.members
         ):
-            raise ConfigError(f"{NAME}: fleet.me: {fleet.me or config.name!r} is no member")
+            raise ConfigError(f"{OPERATORS_FILE}: fleet.me: {fleet.me or config.name!r} is no member")
         self._listening = False
         self.done = asyncio.Event()  # everything taken has its answer
 
@@ -274,7 +276,7 @@
             return
         try:
             config = self._reread()
-            if missing := lacking(self._config.shape, config.shape):
+            if missing := first_missing_key(self._config.file_shape, config.file_shape):
                 raise ConfigError(f"{missing}: missing, and the file in force has it")
             if config.settings.has_counter and self._counter is None:
                 raise ConfigError("settings.family_info.has_counter: a counter waits for the next start")
@@ -416,9 +418,11 @@
 
     def metrics(self) -> str:
         """The figures, one a line."""
-        from badgeryoke.gateway.admin.rendering import Gauges, render
+        from badgeryoke.gateway.admin.rendering import Gauges, render_metrics
 
-        return render(self.core.figures, Gauges(self.core.unanswered, len(self._links), self.core.avoided))
+        return render_metrics(
+            self.core.figures, Gauges(self.core.unanswered, len(self._links), self.core.avoided)
+        )
 
     @property
     def fleet_on(self) -> bool:
@@ -499,7 +503,7 @@
                 self._loop.call_later(0.02, self._await_reports, self._loop.time() + wait_s)
             case ShutdownEffect.LEAVE:
                 if self._management is not None:
-                    self._management.end()
+                    self._management.close()
                 if self._giver is not None:
                     self._giver.close()
                 if self.fleet is not None:
--- a/badgeryoke/gateway/cluster/settings.py
+++ b/badgeryoke/gateway/cluster/settings.py
@@ -16,7 +16,7 @@
 from badgeryoke.cluster.timings import Timings
 from badgeryoke.cluster.timings import faults as timing_faults
 from badgeryoke.gateway.address import parse_address
-from badgeryoke.gateway.config.operators_file import unknown, wrong
+from badgeryoke.gateway.config.struct_validation import malformed_values, unknown_keys
 
 MAX_MEMBERS = 256
 MAX_GROUPS = 256
@@ -76,14 +76,14 @@
 def _form_faults(section: dict[str, Any]) -> list[str]:
     """Unknown and missing keys, and values of another type."""
     without_members = {**section, "members": []}
-    faults = unknown(without_members, ClusterSettings, "fleet.")
-    faults += wrong(without_members, ClusterSettings, "fleet.")
+    faults = unknown_keys(without_members, ClusterSettings, "fleet.")
+    faults += malformed_values(without_members, ClusterSettings, "fleet.")
     members = section.get("members", [])
     if not isinstance(members, list) or not all(isinstance(member, dict) for member in members):
         return [*faults, "fleet.members: expected tables, [[fleet.members]]"]
     for position, member in enumerate(members):
         path = f"fleet.members[{position}]."
-        faults += unknown(member, MemberEntry, path) + wrong(member, MemberEntry, path)
+        faults += unknown_keys(member, MemberEntry, path) + malformed_values(member, MemberEntry, path)
         faults += [f"{path}{key}: missing" for key in ("name", "hall", "address") if key not in member]
     return faults
 
--- a/tests/cluster/test_golden_cluster.py
+++ b/tests/cluster/test_golden_cluster.py
@@ -58,7 +58,6 @@
 from badgeryoke.gateway.cluster.storage import ClusterStorage, open_storage
 from badgeryoke.gateway.cluster.storage.format import DATABASE_FILE, WAL_FILE
 from badgeryoke.gateway.cluster.transport import ClusterTransport, encode_frame
-from tests.gateway.test_service import until
 from tests.support.canonical import canonical
 from tests.support.cluster_history import (
     HISTORIES,
@@ -85,6 +84,7 @@
 )
 from tests.support.cluster_service import free_port
 from tests.support.paths import ROOT
+from tests.support.running import until
 from tests.support.stand_ins import HOST
 
 GOLDEN = ROOT / "tests" / "golden"
--- a/tests/cluster/test_regressions.py
+++ b/tests/cluster/test_regressions.py
@@ -161,7 +161,6 @@
 from badgeryoke.testbed.cluster_simulation.clock import UNIX_MS
 from badgeryoke.testbed.cluster_simulation.fault_plan import Plan
 from badgeryoke.testbed.cluster_simulation.world import FleetWorld, Machine
-from tests.gateway.test_service import until
 from tests.support.raft_group import (
     THREE_VOTERS,
     TIMINGS,
@@ -171,6 +170,7 @@
     sent_messages,
     single_replica,
 )
+from tests.support.running import until
 from tests.support.stand_ins import HOST
 from tests.support.storage import entries, open_existing, write_records
 from tests.support.transport import PING, SHORT_TIMEOUTS, connected_pair, run_with_timeout
--- a/tests/decisions/test_priority_admission.py
+++ b/tests/decisions/test_priority_admission.py
@@ -21,9 +21,9 @@
 from badgeryoke.gateway.cluster.service import ClusterService
 from badgeryoke.gateway.dispatcher import Dispatcher, Rejected, Served
 from tests.gateway.test_dispatcher import AIM, Bench, NoCounter
-from tests.gateway.test_service import until
 from tests.support import samples
 from tests.support.cluster_service import cluster_settings
+from tests.support.running import until
 from tests.support.samples import START, only
 
 
--- a/tests/gateway/cluster/test_service.py
+++ b/tests/gateway/cluster/test_service.py
@@ -44,11 +44,11 @@
 from badgeryoke.gateway.cluster.service import ClusterService
 from badgeryoke.gateway.cluster.startup import node_setup
 from badgeryoke.gateway.cluster.storage import ClusterStorage, StorageWriter, open_storage
+from badgeryoke.gateway.config.errors import ConfigError
 from badgeryoke.gateway.config.operators_file import Operators, OperatorsError, read_operators
-from badgeryoke.gateway.config.platform_file import ConfigError
-from tests.gateway.test_service import until
 from tests.support.cluster_service import ScriptedNode, cluster_settings, feed, running_service
 from tests.support.paths import ROOT
+from tests.support.running import until
 from tests.support.stand_ins import HOST, Backend, Discovery, config, connect, entry, gateway, roster
 from tests.support.transport import run_with_timeout
 
--- a/tests/gateway/cluster/test_transport.py
+++ b/tests/gateway/cluster/test_transport.py
@@ -25,7 +25,7 @@
     decode_envelope,
     encode_frame,
 )
-from tests.gateway.test_service import until
+from tests.support.running import until
 from tests.support.stand_ins import HOST
 from tests.support.transport import (
     HANDSHAKE,
--- a/tests/gateway/diameter/test_diameter.py
+++ b/tests/gateway/diameter/test_diameter.py
@@ -16,14 +16,14 @@
 from badgeryoke.gateway.actor import ActorScheduler, WallClock
 from badgeryoke.gateway.application import GatewayApplication
 from badgeryoke.gateway.attempt import Attempt, Request
-from badgeryoke.gateway.config.platform_file import Config
+from badgeryoke.gateway.config.model import Config
 from badgeryoke.gateway.diameter import client_connection, upstream_connection
 from badgeryoke.gateway.diameter.peer import Peer, PeerState
 from badgeryoke.gateway.diameter.peer import PeerIdentity as PeerIdentity
 from badgeryoke.gateway.diameter.upstream_connection import DiameterUpstream
-from tests.gateway.resp.test_client_connection import ask, play
 from tests.gateway.test_dispatcher import FakeLoop
-from tests.gateway.test_service import until
+from tests.support.running import ask, until
+from tests.support.running import run_test as play
 from tests.support.stand_ins import (
     KEYED,
     NOW_MS,
--- a/tests/support/cluster_service.py
+++ b/tests/support/cluster_service.py
@@ -17,7 +17,7 @@
 from badgeryoke.cluster.node import LeaseClient, NodeSetup
 from badgeryoke.gateway.cluster.service import ClusterService
 from badgeryoke.gateway.cluster.settings import ClusterSettings
-from tests.gateway.test_service import until
+from tests.support.running import until
 from tests.support.stand_ins import HOST
 
 _Event = TypeVar("_Event")
