--- a/tests/gateway/test_counter_and_discovery.py
+++ b/tests/gateway/test_counter_and_discovery.py
@@ -175,7 +175,7 @@
     [b"{", b"[]", b'{"version":3,"full":true,"servers":[{"id":"a"}]}'],
     ids=["no JSON", "no object", "an incomplete entry"],
 )
-def test_a_malformed_discoveryis_a_failed_poll_and_the_watch_goes_on(body: bytes) -> None:
+def test_a_malformed_list_is_a_failed_poll_and_the_watch_goes_on(body: bytes) -> None:
     async def test() -> None:
         async with Discovery(entry("a", 1)) as discovery:
             discovery.raw.append(body)
