--- a/badgeryoke/cluster/bootstrap.py
+++ b/badgeryoke/cluster/bootstrap.py
@@ -43,10 +43,10 @@
     MemberId,
     member_name,
 )
-from badgeryoke.cluster.node_setup import FOUNDING, NodeSetup
+from badgeryoke.cluster.node_setup import BOOTSTRAP_GROUP, NodeSetup
 
-MOST_MEMBERS = 1024
-MOST_BYTES = 256 * 1024  # of a record
+MAX_MEMBERS = 1024
+MAX_RECORD_BYTES = 256 * 1024  # of a record
 FIRST_ASK_MS, LAST_ASK_MS = (
     200.0,
     2000.0,
@@ -58,26 +58,26 @@
 class BootstrapRecord(msgspec.Struct, frozen=True, array_like=True):
     """A fleet's founding, the same on each member for good."""
 
-    fleet: str
-    founding: str  # drawn by its maker; tells two fleets of one name apart
-    by: MemberId
+    cluster_name: str
+    bootstrap_id: str  # drawn by its maker; tells two fleets of one name apart
+    created_by: MemberId
     members: tuple[tuple[MemberId, str], ...]  # founders and their halls, by name
-    groups: int  # beside the fleet's own
-    copies: int
+    group_count: int  # beside the fleet's own
+    replication_factor: int
 
 
-def read(body: bytes) -> BootstrapRecord | None:
+def decode_record(body: bytes) -> BootstrapRecord | None:
     """A record from its bytes; None where they are none."""
-    if len(body) > MOST_BYTES:
+    if len(body) > MAX_RECORD_BYTES:
         return None
     try:
         record = msgspec.msgpack.decode(body, type=BootstrapRecord)
     except (msgspec.MsgspecError, ValueError):  # also: not UTF-8
         return None
     names = {member_name(who) for who, _ in record.members}
-    if not 1 <= len(record.members) <= MOST_MEMBERS or len(names) != len(record.members):
+    if not 1 <= len(record.members) <= MAX_MEMBERS or len(names) != len(record.members):
         return None
-    return record if record.groups >= 1 and record.copies >= 1 else None
+    return record if record.group_count >= 1 and record.replication_factor >= 1 else None
 
 
 class Bootstrap:
@@ -88,9 +88,9 @@
         self.record: BootstrapRecord | None = None  # once it is stored
         self.error: ClusterError | None = None  # why there is none, where waiting does not help
         self._setup, self._draw, self._saved = setup, draw, saved
-        self._halls = {one.name: one.hall for one in setup.members}
-        self._others = sorted(name for name in self._halls if name != setup.me)
-        self._lowest = min([*self._others, setup.me])
+        self._halls = {one.name: one.zone for one in setup.members}
+        self._others = sorted(name for name in self._halls if name != setup.member_name)
+        self._lowest = min([*self._others, setup.member_name])
         self._none: dict[str, tuple[float, MemberId]] = {}  # who answered "none", when and as whom
         self._lock, self._locks = saved.vote, saved.term
         self._past: dict[MemberId, None] = {}  # askers under the lowest name that are over
@@ -102,7 +102,7 @@
             self._restore(saved.snapshot.body)
 
     @property
-    def founder(self) -> bool:
+    def is_founder(self) -> bool:
         """Whether this member, as it is now, is one of those that the record names."""
         return self.record is not None and self._named(self.record)
 
@@ -113,7 +113,7 @@
         out: list[SendMessage | PersistRecords | LogEvent] = []
         if isinstance(event, MessageReceived):
             self._received(now, event.sender, event.message, out)
-        elif isinstance(event, RecordsPersisted) and event.group == FOUNDING:
+        elif isinstance(event, RecordsPersisted) and event.group == BOOTSTRAP_GROUP:
             self._stored(event.seq, out)
         elif isinstance(event, StorageFailure):
             self.error, self.due = event.error, math.inf
@@ -122,19 +122,23 @@
         return out
 
     def _restore(self, body: bytes) -> None:
-        found = read(body)
+        found = decode_record(body)
         if found is None:
-            self.error = BadFrame(self._setup.me, "the stored founding record cannot be read")
-        elif found.fleet != self._setup.fleet:
+            self.error = BadFrame(self._setup.member_name, "the stored founding record cannot be read")
+        elif found.cluster_name != self._setup.cluster_name:
             self.error = ClusterMismatch(
-                found.fleet, f"the folder belongs to it, not to {self._setup.fleet!r}"
+                found.cluster_name, f"the folder belongs to it, not to {self._setup.cluster_name!r}"
             )
         else:
             self.record = found
         self.due = math.inf
 
     def _named(self, record: BootstrapRecord) -> bool:
-        return any(who == self._setup.id for who, _ in record.members)
+        return any(who == self._setup.member_id for who, _ in record.members)
+
+    def _same_cluster(self, record: BootstrapRecord) -> bool:
+        known = self.record or record
+        return record.cluster_name == self._setup.cluster_name and known.bootstrap_id == record.bootstrap_id
 
     # Asking
     # ----------------------------------------------------------------------------------------------------------
@@ -144,28 +148,31 @@
         self.due = now + self._wait * (0.75 + 0.5 * self._draw.random())
         if self.error is not None or self._storing is not None:
             return
-        if self._setup.me == self._lowest:
+        if self._setup.member_name == self._lowest:
             if self._make(now, out):
                 return
             asked = self._others
         else:
             others = [name for name in self._others if name != self._lowest]
             asked = [self._lowest, *self._draw.sample(others, min(ASK_OTHERS, len(others)))]
-        hall = self._halls.get(self._setup.me, "")
+        hall = self._halls.get(self._setup.member_name, "")
         out += [SendMessage(name + "/", IdentityQuery(hall)) for name in asked]
 
     def _make(self, now: float, out: list[SendMessage | PersistRecords | LogEvent]) -> bool:
         """The record, where all the others have said of late that they have none."""
         if any(now - self._none.get(name, (-math.inf, ""))[0] > FRESH_MS for name in self._others):
             return False
-        ids = {self._setup.me: self._setup.id, **{name: self._none[name][1] for name in self._others}}
+        ids = {
+            self._setup.member_name: self._setup.member_id,
+            **{name: self._none[name][1] for name in self._others},
+        }
         record = BootstrapRecord(
-            self._setup.fleet,
+            self._setup.cluster_name,
             f"{self._draw.getrandbits(64):016x}",
-            self._setup.id,
+            self._setup.member_id,
             tuple((ids[name], self._halls[name]) for name in sorted(ids)),
-            self._setup.groups,
-            self._setup.copies,
+            self._setup.group_count,
+            self._setup.replication_factor,
         )
         self._take(record, out)
         return True
@@ -176,13 +183,15 @@
         self._storing = self._seq, record
         config = GroupConfiguration(tuple(who for who, _ in record.members))
         out.append(
-            PersistRecords(FOUNDING, self._seq, (Snapshot(1, 1, config, msgspec.msgpack.encode(record)),))
+            PersistRecords(
+                BOOTSTRAP_GROUP, self._seq, (Snapshot(1, 1, config, msgspec.msgpack.encode(record)),)
+            )
         )
 
     def _stored(self, seq: int, out: list[SendMessage | PersistRecords | LogEvent]) -> None:
         asker = self._asked.pop(seq, None)
         if asker is not None and asker == self._lock and self._storing is None and self.record is None:
-            out.append(SendMessage(asker, Announce(self._halls.get(self._setup.me, ""), b"")))
+            out.append(SendMessage(asker, Announce(self._halls.get(self._setup.member_name, ""), b"")))
         if self._storing is None or self._storing[0] != seq:
             return
         self.record, self._storing, self.due = self._storing[1], None, math.inf
@@ -190,16 +199,16 @@
         out.append(
             LogEvent(
                 "info",
-                "fleet_founded" if self.record.by == self._setup.id else "fleet_joined",
-                {"founding": self.record.founding, "founder": self.founder},
+                "fleet_founded" if self.record.created_by == self._setup.member_id else "fleet_joined",
+                {"founding": self.record.bootstrap_id, "founder": self.is_founder},
             )
         )
-        if self.record.by == self._setup.id:  # told once; whom it does not reach asks
+        if self.record.created_by == self._setup.member_id:  # told once; whom it does not reach asks
             body = msgspec.msgpack.encode(self.record)
             out += [
                 SendMessage(who, ClusterFounded(body))
                 for who, _ in self.record.members
-                if who != self._setup.id
+                if who != self._setup.member_id
             ]
 
     # Answering
@@ -213,7 +222,7 @@
         out: list[SendMessage | PersistRecords | LogEvent],
     ) -> None:
         name = member_name(sender)
-        if name not in self._halls or name == self._setup.me:
+        if name not in self._halls or name == self._setup.member_name:
             return
         if isinstance(message, IdentityQuery):
             self._answer(sender, out)
@@ -225,7 +234,7 @@
             self._heard(sender, message.founding, out)
 
     def _answer(self, sender: MemberId, out: list[SendMessage | PersistRecords | LogEvent]) -> None:
-        hall = self._halls.get(self._setup.me, "")
+        hall = self._halls.get(self._setup.member_name, "")
         if self.record is not None:
             out.append(SendMessage(sender, Announce(hall, msgspec.msgpack.encode(self.record))))
         elif self._storing is not None or self.error is not None:
@@ -234,30 +243,31 @@
             sender == self._lock and sender not in self._asked.values()
         ):
             out.append(SendMessage(sender, Announce(hall, b"")))
-        elif sender != self._lock and sender not in self._past and len(self._past) < MOST_MEMBERS:
+        elif sender != self._lock and sender not in self._past and len(self._past) < MAX_MEMBERS:
             if self._lock:
                 self._past[self._lock] = None
             self._seq += 1
             self._lock, self._locks, self._asked = sender, self._locks + 1, {self._seq: sender}
-            out.append(PersistRecords(FOUNDING, self._seq, (HardState(self._locks, sender),)))
+            out.append(PersistRecords(BOOTSTRAP_GROUP, self._seq, (HardState(self._locks, sender),)))
 
     def _heard(
         self, sender: MemberId, body: bytes, out: list[SendMessage | PersistRecords | LogEvent]
     ) -> None:
         """A record, from its maker or from anybody who has it."""
-        record = read(body)
+        record = decode_record(body)
         if record is None:
             out.append(_say(BadFrame(sender, "a founding record that cannot be read")))
-        elif record.fleet != self._setup.fleet or (self.record or record).founding != record.founding:
-            out.append(
-                _say(ClusterMismatch(sender, f"it belongs to {record.fleet!r}, founding {record.founding}"))
-            )
+        elif not self._same_cluster(record):
+            belongs = f"it belongs to {record.cluster_name!r}, founding {record.bootstrap_id}"
+            out.append(_say(ClusterMismatch(sender, belongs)))
         elif self.record is None and self._storing is None and self.error is None:
-            if self._named(record) and self._lock and self._lock not in (sender, record.by):
+            if self._named(record) and self._lock and self._lock not in (sender, record.created_by):
                 # promised to a later maker: this one is from before it asked, and may be nobody's any more
                 return
             self._take(record, out)
 
 
 def _say(error: ClusterError) -> LogEvent:
-    return LogEvent("error", "fleet_founding", {"error": error.code, "whom": error.whom, "what": error.what})
+    return LogEvent(
+        "error", "fleet_founding", {"error": error.code, "whom": error.subject, "what": error.detail}
+    )
--- a/badgeryoke/cluster/errors.py
+++ b/badgeryoke/cluster/errors.py
@@ -14,15 +14,15 @@
 class ClusterError(msgspec.Struct, frozen=True, tag_field="error"):
     """What happened, and to whom (a group, a member, a contract, a key)."""
 
-    whom: str
-    what: str
+    subject: str = msgspec.field(name="whom")
+    detail: str = msgspec.field(name="what")
 
     code: ClassVar[str] = ""
     do: ClassVar[str] = ""  # what an operator can do
     retry: ClassVar[bool] = False  # whether the same call with the same id may be made again at once
 
     def __str__(self) -> str:
-        return f"{self.code}: {self.whom}: {self.what}; {self.do}"
+        return f"{self.code}: {self.subject}: {self.detail}; {self.do}"
 
 
 class InvalidCall(ClusterError, frozen=True, tag="bad-call"):
@@ -154,7 +154,7 @@
     do = "Keep the log and the store's folder, and start this gateway again; report it with both."
 
 
-ALL: tuple[type[ClusterError], ...] = (
+ALL_ERRORS: tuple[type[ClusterError], ...] = (
     InvalidCall,
     NoLeader,
     UnknownOutcome,
--- a/badgeryoke/cluster/invariants.py
+++ b/badgeryoke/cluster/invariants.py
@@ -46,7 +46,7 @@
     `facts` is called only where the rule does not hold, so that a check that holds costs a comparison.
     """
 
-    MOST = 64  # kept; further ones are counted alone
+    MAX_RECORDED = 64  # kept; further ones are counted alone
 
     def __init__(self, strict: bool = True, noted: Callable[[Rule, str], None] | None = None) -> None:
         self._strict, self._noted = strict, noted
@@ -59,7 +59,7 @@
             return True
         self.count += 1
         said = facts()
-        if len(self.broken) < self.MOST:
+        if len(self.broken) < self.MAX_RECORDED:
             self.broken.append((rule, said))
         if self._noted is not None:
             self._noted(rule, said)
--- a/badgeryoke/cluster/membership/protocol.py
+++ b/badgeryoke/cluster/membership/protocol.py
@@ -46,7 +46,7 @@
 MOST_OUT = 64  # probes and relays remembered; the oldest goes
 MOST_GONE = 4  # earlier Ids kept of a name
 # who left in order counts as dead only after so many `repair_after_ms`: a restart is no loss
-LEFT_GRACE = 10.0
+LEFT_GRACE_MULTIPLE = 10.0
 PATIENCE = 4.0  # a probe of a slow link waits so many periods at most
 
 
@@ -112,7 +112,7 @@
         self._times, self._draw, self._left = timings, draw, False
         self._seq = draw.getrandbits(40)  # so that an answer to an earlier process is none to this one
         self._peers = {
-            one.name: _Peer(one.name, one.hall, one.name + "/", since=now)
+            one.name: _Peer(one.name, one.zone, one.name + "/", since=now)
             for one in members
             if one.name != member_name(me)
         }
@@ -131,16 +131,16 @@
     # What is believed
     # ------------------------------------------------------------------------------------------------
 
-    def alive(self) -> frozenset[MemberId]:
+    def alive_ids(self) -> frozenset[MemberId]:
         """Ids that are alive or merely suspected, this one with them."""
         found = [one.id for one in self._peers.values() if one.known and one.state in (ALIVE, SUSPECT)]
         return frozenset(found if self._left else [*found, self.me])
 
-    def dead_for(self, now: float) -> dict[MemberId, float]:
+    def dead_for_ms(self, now: float) -> dict[MemberId, float]:
         """For how long (ms) each has been believed dead; a name whose Id was never heard of stands as
         "name/"."""
         found: dict[MemberId, float] = {}
-        grace = LEFT_GRACE * self._times.repair_after_ms
+        grace = LEFT_GRACE_MULTIPLE * self._times.repair_after_ms
         for one in self._peers.values():
             for who, since in one.gone.items():
                 found[who] = now - since
@@ -169,11 +169,11 @@
         """The Id of each name as last known; "name/" where none is."""
         return {member_name(self.me): self.me, **{one.name: one.id for one in self._peers.values()}}
 
-    def halls(self) -> dict[str, str]:
+    def zones(self) -> dict[str, str]:
         """The hall of each name."""
         return {member_name(self.me): self.hall, **{one.name: one.hall for one in self._peers.values()}}
 
-    def know(self, now: float, ids: Iterable[MemberId]) -> None:
+    def learn_ids(self, now: float, ids: Iterable[MemberId]) -> None:
         """Ids from the founding record or the log, where a name's is not known yet; nothing is believed
         anew."""
         for who in ids:
--- a/badgeryoke/cluster/node.py
+++ b/badgeryoke/cluster/node.py
@@ -62,31 +62,36 @@
     PingRequest,
     member_name,
 )
-from badgeryoke.cluster.node_setup import FOUNDING, LeaseClient, Member, NodeSetup
-from badgeryoke.cluster.placement.directory import PlacementDirectory, ReadPlacement, first_placing, group_of
+from badgeryoke.cluster.node_setup import BOOTSTRAP_GROUP, LeaseClient, Member, NodeSetup
+from badgeryoke.cluster.placement.directory import (
+    PlacementDirectory,
+    ReadPlacement,
+    group_for_key,
+    initial_placement,
+)
 from badgeryoke.cluster.raft.node import RaftNode
-from badgeryoke.cluster.state_machine.machine import GroupStateMachine, decode, encode
+from badgeryoke.cluster.state_machine.machine import GroupStateMachine, decode_command, encode_command
 from badgeryoke.cluster.state_machine.part import FLEET, ApplyResult, Command, LeaderView
 
-__all__ = ["FOUNDING", "ClusterNode", "LeaseClient", "Member", "NodeSetup"]
+__all__ = ["BOOTSTRAP_GROUP", "ClusterNode", "LeaseClient", "Member", "NodeSetup"]
 MOST_CALLS = 4096  # calls of this gateway that have no answer yet; more are refused
 MOST_MET = 8192  # Ids heard by one process; further ones are not counted on
 MOST_HOPS = 3  # of a call on its way to a leader
 # of `call_ms`, after which a call without an answer is made again: its id makes that harmless
 TRY_PART = 0.25
 PAUSE_MS = 40.0  # before a call that found no leader is made again
-LATE_MS = 1000.0  # a voter that has not caught up for so long is reported as behind
+LAGGING_AFTER_MS = 1000.0  # a voter that has not caught up for so long is reported as behind
 HEARD_MS = 3000.0  # any other member reads it so often, to know whom to ask
 SOON_MS = 50.0  # and again so soon, while something changes
 PLACES_MS = 400.0  # a member that leads a group reads so often who is to copy it, while not all is well
 CALM_MS = 1600.0  # and so often once all was well for
 # so long (a roll's next gateway has gone by then), or along with another reading there after half
 WELL_MS = 5000.0
-ANY = "*"  # in Setup.servers: each server that is not named
+ANY_SERVER = "*"  # in Setup.servers: each server that is not named
 POLL_MS = 50.0  # the holders' calls are looked for so often
 
 
-_replies = msgspec.msgpack.Decoder(tuple[ApplyResult | None, AnyError | None, str])
+reply_decoder = msgspec.msgpack.Decoder(tuple[ApplyResult | None, AnyError | None, str])
 
 
 @dataclass(slots=True)
@@ -123,22 +128,22 @@
         now: float,
         wall: float,
         rules: Invariants,
-        holders: Iterable[LeaseClient] = (),
+        lease_clients: Iterable[LeaseClient] = (),
     ) -> None:
-        self.setup, self.rules, self.me = setup, rules, setup.id
+        self.setup, self.rules, self.me = setup, rules, setup.member_id
         self._timings, self._draw = setup.timings, draw
         self._saved = dict(saved)
-        self._halls = {member.name: member.hall for member in setup.members}
+        self._halls = {member.name: member.zone for member in setup.members}
         self.load: dict[str, float] = {"capacity": setup.capacity}
         # set by the shell while a roll takes this gateway: what is led goes to others
-        self.lead_nothing = False
-        self.holders = list(holders)
+        self.avoid_leadership = False
+        self.lease_clients = list(lease_clients)
         self.replicas: dict[str, RaftNode] = {}
-        self.states: dict[str, GroupStateMachine] = {}
+        self.state_machines: dict[str, GroupStateMachine] = {}
         self.membership = Membership(
-            self.me, self._halls.get(setup.me, ""), setup.members, setup.timings, draw, now
+            self.me, self._halls.get(setup.member_name, ""), setup.members, setup.timings, draw, now
         )
-        self.founding = Bootstrap(setup, self._saved.pop(FOUNDING, PersistedGroup()), draw, now)
+        self.bootstrap = Bootstrap(setup, self._saved.pop(BOOTSTRAP_GROUP, PersistedGroup()), draw, now)
         self._broken: ClusterError | None = None  # why this member promises nothing
         self._calls: dict[str, _Call] = {}
         self._ours: dict[
@@ -157,9 +162,11 @@
         ] = {}  # voters of groups led here that have not caught up, since when
         self._met: dict[MemberId, None] = {}  # heard by this process
         self._ahead: dict[str, float] = {}  # others' wall clocks less this one's
-        self.ahead = 0.0  # the fleet's time less this machine's, ms
+        self.clock_offset_ms = 0.0  # the fleet's time less this machine's, ms
         self._timed = len(self._halls) <= 1  # whether a majority's clocks were heard
-        self.limits = {name: most for name, most in setup.servers.items() if name != ANY}
+        self.connection_limits = {
+            name: most for name, most in setup.connection_limits.items() if name != ANY_SERVER
+        }
         self._last = 0
         # tokens of an earlier life are not answered as this one's
         self._begun = f"{draw.getrandbits(48):012x}"
@@ -167,17 +174,17 @@
         self._rolled = "", 0  # the roll under way, and its changes when this member last looked
         self._leaving: tuple[str, float] | None = None
         self.due = now
-        if self.founding.record is not None:
+        if self.bootstrap.record is not None:
             self._open(now)
 
     # Groups -----------------------------------------------------------------------------------------------
 
     def _open(self, now: float) -> None:
         """The fleet is founded: bring up what this member copies."""
-        record = self.founding.record
+        record = self.bootstrap.record
         assert record is not None
-        self._placed = self._first = first_placing(record)
-        self.membership.know(now, (who for who, _ in record.members))
+        self._placed = self._first = initial_placement(record)
+        self.membership.learn_ids(now, (who for who, _ in record.members))
         for group, ids in self._placed.items():
             if group in self._saved or self.me in ids:
                 self._replica(now, group)
@@ -188,10 +195,10 @@
         """The replica of a group; a newcomer's where there is none, which waits to be told."""
         found = self.replicas.get(group)
         if found is None and group in self._placed:
-            state = self.states[group] = GroupStateMachine(group, self._timings, self.rules)
+            state = self.state_machines[group] = GroupStateMachine(group, self._timings, self.rules)
             if group == FLEET:
-                assert self.founding.record is not None
-                state.parts["placing"].begin(self.founding.record)
+                assert self.bootstrap.record is not None
+                state.parts["placing"].initialize(self.bootstrap.record)
             saved = self._saved.pop(group, PersistedGroup())
             # A founder's first placing alone, and before anything was stored: who comes in later waits to be
             # told.
@@ -223,7 +230,7 @@
 
     def _hurry(self, now: float) -> None:
         """A roll has moved: whoever schedules it looks at once, not with the next heartbeat."""
-        roll = self.states[FLEET].parts["rolls"].active
+        roll = self.state_machines[FLEET].parts["rolls"].active
         if roll is not None and (roll.name, roll.changes) != self._rolled:
             self._rolled = roll.name, roll.changes
             self._work_at = self.due = now
@@ -233,12 +240,12 @@
     def handle(self, now: float, wall: float, event: NodeEvent) -> list[Effect]:
         """Take an event in; gives what has to be done, in order."""
         effects: list[Effect] = []
-        raw, wall = wall, wall + self.ahead
+        raw, wall = wall, wall + self.clock_offset_ms
         if isinstance(event, MessageReceived) and event.sender not in self._met and len(self._met) < MOST_MET:
             self._met[event.sender] = None
         match event:
             case MessageReceived(message=GroupMessage() as message):
-                if self.founding.record is not None and self._replica(now, message.group) is not None:
+                if self.bootstrap.record is not None and self._replica(now, message.group) is not None:
                     effects += self._feed(now, message.group, event)
             case MessageReceived(sender=sender, message=ForwardedCall() as message):
                 effects += self._forwarded(now, wall, sender, message)
@@ -252,7 +259,7 @@
             case MessageReceived(message=IdentityQuery() | Announce() | ClusterFounded()):
                 effects += self._founded(now, event)
             case RecordsPersisted(group=group):
-                if group == FOUNDING:
+                if group == BOOTSTRAP_GROUP:
                     effects += self._founded(now, event)
                 elif group in self.replicas:
                     effects += self._feed(now, group, event)
@@ -275,7 +282,7 @@
             case Tick():
                 pass
         if isinstance(event, Tick) or now >= self.due or self._leaving is not None:
-            effects += self._tick(now, raw, raw + self.ahead)
+            effects += self._tick(now, raw, raw + self.clock_offset_ms)
         return effects
 
     def _clocks(self, sender: MemberId, ahead: float) -> None:
@@ -286,7 +293,7 @@
         if member_name(sender) in self._halls:
             self._ahead[member_name(sender)] = ahead
             middle = sorted([0.0, *self._ahead.values()])
-            self.ahead = middle[
+            self.clock_offset_ms = middle[
                 (len(middle) - 1) // 2
             ]  # of two the one behind: a group's time goes on, never back
             self._timed = 2 * len(middle) > len(self._halls)
@@ -304,18 +311,18 @@
     def _founded(
         self, now: float, event: Tick | MessageReceived | RecordsPersisted | StorageFailure
     ) -> list[Effect]:
-        known = self.founding.record
-        effects: list[Effect] = list(self.founding.handle(now, event))
-        self.due = min(self.due, self.founding.due)
-        if known is None and self.founding.record is not None:
+        known = self.bootstrap.record
+        effects: list[Effect] = list(self.bootstrap.handle(now, event))
+        self.due = min(self.due, self.bootstrap.due)
+        if known is None and self.bootstrap.record is not None:
             self._open(now)
         return effects
 
     def _eager(self) -> float:
         """When a holder wants to be polled before its usual time."""
-        if self.founding.record is None:
+        if self.bootstrap.record is None:
             return math.inf
-        return min([getattr(holder, "due", math.inf) for holder in self.holders], default=math.inf)
+        return min([getattr(holder, "due", math.inf) for holder in self.lease_clients], default=math.inf)
 
     @staticmethod
     def _next(now: float, step: float) -> float:
@@ -325,7 +332,7 @@
 
     def _tick(self, now: float, raw: float, wall: float) -> list[Effect]:
         effects: list[Effect] = []
-        if self.founding.due <= now:
+        if self.bootstrap.due <= now:
             effects += self._founded(now, Tick())
         if self.membership.due <= now:
             effects += self._gossip(raw, self.membership.handle(now, Tick()))
@@ -339,12 +346,12 @@
                 effects += call.answer(now, self._final(call, nobody))
             elif call.again <= now:
                 effects += self._try(now, wall, token, call)
-        if self._work_at <= now and self.founding.record is not None:
+        if self._work_at <= now and self.bootstrap.record is not None:
             self._work_at = self._next(now, self._timings.heartbeat_ms)
             for group, replica in list(self.replicas.items()):
                 if replica.leading and self._leaving is None:
                     effects += self._work(now, wall, group, replica)
-                    if self.lead_nothing:
+                    if self.avoid_leadership:
                         effects += self._feed(now, group, TransferLeadership())
             if self._places_at <= now:
                 self._places_at = self._next(now, PLACES_MS)
@@ -354,8 +361,8 @@
                     effects += self._read_places(now, wall)
         if self._poll_at <= now or self._eager() <= now:
             self._poll_at = self._next(now, POLL_MS)
-            if self.founding.record is not None:
-                for holder in self.holders:
+            if self.bootstrap.record is not None:
+                for holder in self.lease_clients:
                     for command in holder.poll(now, wall):
                         effects += self._ask(now, wall, command, self._holder_answer(holder, command))
                         if command.reads and not command.key() and now - self._read_at >= CALM_MS / 2.0:
@@ -371,7 +378,7 @@
             [
                 self._work_at,
                 self._poll_at,
-                self.founding.due,
+                self.bootstrap.due,
                 self.membership.due,
                 self._eager(),
                 *(replica.due for replica in self.replicas.values()),
@@ -407,11 +414,11 @@
         problem = command.validate()
         if problem:
             return answer(now, InvalidCall(command.id, problem))
-        if self.founding.record is None:
-            return answer(now, NoLeader(self.setup.fleet, "the fleet is not founded yet"))
+        if self.bootstrap.record is None:
+            return answer(now, NoLeader(self.setup.cluster_name, "the fleet is not founded yet"))
         if len(self._calls) >= MOST_CALLS:
             return answer(now, Overloaded(self.me, f"{MOST_CALLS} calls have no answer yet"))
-        group = group_of(command.key(), self.founding.record.groups)
+        group = group_for_key(command.key(), self.bootstrap.record.group_count)
         token = self._token()
         call = self._calls[token] = _Call(command, group, now + self._timings.call_ms, answer, now)
         self.due = min(self.due, now + PAUSE_MS)
@@ -445,7 +452,7 @@
             SendMessage(
                 to,
                 ForwardedCall(
-                    f"{token}.{self._number(call)}", call.group, encode(wall, call.command), MOST_HOPS
+                    f"{token}.{self._number(call)}", call.group, encode_command(wall, call.command), MOST_HOPS
                 ),
             )
         ]
@@ -469,9 +476,9 @@
         replica = self.replicas.get(group)
         if replica is not None and replica.leader and replica.leader != self.me and round_ % 2 == 1:
             return replica.leader
-        if round_ == 1 and self._routes.get(group) in self.membership.alive():
+        if round_ == 1 and self._routes.get(group) in self.membership.alive_ids():
             return self._routes[group]
-        alive = {member_name(who): who for who in self.membership.alive() if who != self.me}
+        alive = {member_name(who): who for who in self.membership.alive_ids() if who != self.me}
         others = [alive[name] for who in self._placed.get(group, ()) if (name := member_name(who)) in alive]
         if not others or round_ % 4 >= 2:  # copies may have moved since this member last heard: whoever lives
             others = sorted(alive.values())
@@ -517,13 +524,15 @@
         token = self._token()
 
         def looked(at: float, result: Any) -> list[Effect]:
-            return answer(at, self.states[group].query(command) if result is None else result)
+            return answer(at, self.state_machines[group].query(command) if result is None else result)
 
         self._ours[token] = looked if command.reads else answer
         if command.reads:
             return self._feed(now, group, ReadIndexRequest(token))
         # Until a majority's clocks were heard the group's time stands still: this machine's may be anywhere.
-        return self._feed(now, group, ProposeCommand(token, encode(wall if self._timed else 0.0, command)))
+        return self._feed(
+            now, group, ProposeCommand(token, encode_command(wall if self._timed else 0.0, command))
+        )
 
     def _forwarded(self, now: float, wall: float, sender: MemberId, message: ForwardedCall) -> list[Effect]:
         """A call of another member."""
@@ -536,7 +545,7 @@
             return [SendMessage(sender, ForwardedReply(message.token, body))]
 
         try:
-            _, command = decode(message.body)
+            _, command = decode_command(message.body)
         except msgspec.DecodeError as fault:
             return reply(now, InvalidCall(message.group, str(fault)))
         problem = command.validate()
@@ -544,10 +553,10 @@
             return reply(now, InvalidCall(command.id, problem))
         replica = self.replicas.get(message.group)
         if replica is None:
-            return reply(now, NoLeader(message.group, f"no copy at {self.setup.me}"))
+            return reply(now, NoLeader(message.group, f"no copy at {self.setup.member_name}"))
         if replica.leading:
             return self._take(now, wall, message.group, command, reply)
-        return reply(now, NoLeader(message.group, f"not led by {self.setup.me}"))
+        return reply(now, NoLeader(message.group, f"not led by {self.setup.member_name}"))
 
     def _replied(self, now: float, wall: float, sender: MemberId, message: ForwardedReply) -> list[Effect]:
         token, _, digits = message.token.rpartition(".")
@@ -555,7 +564,7 @@
         if call is None or not digits.isdecimal():
             return []
         try:
-            applied, error, leader = _replies.decode(message.body)
+            applied, error, leader = reply_decoder.decode(message.body)
         except msgspec.DecodeError:
             return []  # it is asked again, or ends as unknown
         result = applied if applied is not None else error
@@ -578,11 +587,11 @@
         """What the parts of a group led here may look at."""
         places, load = self._places, self.load
         if replica.group == FLEET:
-            parts = self.states[FLEET].parts
+            parts = self.state_machines[FLEET].parts
             places = parts["placing"]
             load = {**load, "promised": parts["contracts"].promised(wall, wall + parts["rolls"].horizon_ms())}
         behind = {
-            group: held.behind for group, held in places.groups.items() if held.behind
+            group: held.lagging for group, held in places.groups.items() if held.lagging
         }  # as leaders reported it
         for group, made in self.replicas.items():
             if made.leading:
@@ -594,7 +603,7 @@
             replica.lead_since,
             self._timings,
             self._living(),
-            self.membership.dead_for(now),
+            self.membership.dead_for_ms(now),
             self._halls,
             load,
             places.voters() or self._placed,
@@ -604,12 +613,12 @@
     def _living(self) -> frozenset[MemberId]:
         """Whom this process has heard since its start, and does not believe dead: one just started knows
         of nobody."""
-        return frozenset(who for who in self.membership.alive() if who == self.me or who in self._met)
+        return frozenset(who for who in self.membership.alive_ids() if who == self.me or who in self._met)
 
     def _work(self, now: float, wall: float, group: str, replica: RaftNode) -> list[Effect]:
         """What the leader of a group has to see to."""
         effects: list[Effect] = []
-        state = self.states[group]
+        state = self.state_machines[group]
         commands = state.leader_tasks(self._view(now, wall, replica))
         if group != FLEET:
             commands += self._limits(group, state)
@@ -621,8 +630,8 @@
 
     def _limits(self, group: str, state: GroupStateMachine) -> list[Command]:
         """Servers whose limit the group does not know as this gateway does."""
-        assert self.founding.record is not None
-        known, idle = state.parts["connections"].servers, self.setup.idle_ms
+        assert self.bootstrap.record is not None
+        known, idle = state.parts["connections"].servers, self.setup.connection_idle_ms
         return [
             SetConnectionLimit(
                 id=f"limit/{server}/{most}/{known[server].parts.whole if server in known else 0:g}/{state.index}",
@@ -630,9 +639,9 @@
                 most=most,
                 idle_ms=idle,
             )
-            for server, most in self.limits.items()
+            for server, most in self.connection_limits.items()
             if (server not in known or known[server].parts.whole != most)
-            and group_of(bucket(server), self.founding.record.groups) == group
+            and group_for_key(bucket(server), self.bootstrap.record.group_count) == group
         ]
 
     def _worked(self, command: Command) -> Callable[[float, ApplyResult | ClusterError], list[Effect]]:
@@ -658,7 +667,7 @@
             self._places = PlacementDirectory(self._timings, self.rules)
             self._places.load(result.value["state"])
             self._placed = self._places.voters()
-            self.membership.know(at, (who for who, _ in self._places.members.values()))
+            self.membership.learn_ids(at, (who for who, _ in self._places.members.values()))
             effects: list[Effect] = []
             for group, replica in list(self.replicas.items()):
                 if replica.leading and group not in self._changing and self._leaving is None:
@@ -674,8 +683,8 @@
         led here."""
         return (
             not self._places.moves
-            and len(self.membership.alive()) >= len(self._places.members)
-            and not any(held.behind for held in self._places.groups.values())
+            and len(self.membership.alive_ids()) >= len(self._places.members)
+            and not any(held.lagging for held in self._places.groups.values())
             and not any(
                 replica.leading and (replica.config.learners or replica.lagging())
                 for replica in self.replicas.values()
@@ -687,9 +696,11 @@
         has only just begun knows of none how long; it counts those of whom it has not heard yet."""
         lagging = replica.lagging()
         self._lags = {key: since for key, since in self._lags.items() if key[0] != group or key[1] in lagging}
-        fresh = now - replica.lead_since < LATE_MS
+        fresh = now - replica.lead_since < LAGGING_AFTER_MS
         return tuple(
-            who for who in lagging if now - self._lags.setdefault((group, who), now) >= LATE_MS or fresh
+            who
+            for who in lagging
+            if now - self._lags.setdefault((group, who), now) >= LAGGING_AFTER_MS or fresh
         )
 
     def _members(self, now: float, wall: float, group: str, replica: RaftNode) -> list[Effect]:
@@ -697,9 +708,9 @@
         if replica.commit < replica.config_index:
             return []
         behind = replica.behind()
-        step = self._places.wanted(group, replica.config, behind, self.membership.alive())
+        step = self._places.next_membership_change(group, replica.config, behind, self.membership.alive_ids())
         if step is None:
-            report = self._places.report(
+            report = self._places.configuration_report(
                 group, replica.config, replica.config_index, self._late(now, group, replica)
             )
             if report is None or report.id in self._working:
@@ -726,7 +737,7 @@
         """Members as believed, groups with leader, copies and what is behind; whether this one promises."""
         return {
             "me": self.me,
-            "founded": self.founding.record is not None,
+            "founded": self.bootstrap.record is not None,
             "promises": "yes" if self._broken is None else str(self._broken),
             "members": {name: self.membership.state_of(name) for name in self._halls},
             "groups": {
--- a/badgeryoke/cluster/node_setup.py
+++ b/badgeryoke/cluster/node_setup.py
@@ -10,7 +10,7 @@
 from badgeryoke.cluster.state_machine.part import ApplyResult, Command
 from badgeryoke.cluster.timings import Timings
 
-FOUNDING = ""  # the group under which a store keeps the founding record, as a Snapshot's body
+BOOTSTRAP_GROUP = ""  # the group under which a store keeps the founding record, as a Snapshot's body
 
 
 @dataclass(frozen=True, slots=True)
@@ -18,7 +18,7 @@
     """As the operators' file names it."""
 
     name: str
-    hall: str
+    zone: str
     address: str = ""  # HOST:PORT for the fleet's own links
 
 
@@ -26,21 +26,25 @@
 class NodeSetup:
     """What a node is told at its start."""
 
-    fleet: str
-    me: str
+    cluster_name: str
+    member_name: str
     incarnation: str  # drawn when the store was made; a new store is a new one
     members: tuple[Member, ...]
-    copies: int = 3
-    groups: int = 8  # beside the fleet's own
+    replication_factor: int = 3
+    group_count: int = 8  # beside the fleet's own
     timings: Timings = field(default_factory=Timings)
     capacity: float = 0.0  # units a second that contracts may take in all
-    servers: dict[str, int] = field(default_factory=dict)  # the most connections that each server holds
-    idle_ms: float = 30_000.0  # so long after its last use a server has closed a connection for sure
+    connection_limits: dict[str, int] = field(
+        default_factory=dict
+    )  # the most connections that each server holds
+    connection_idle_ms: float = (
+        30_000.0  # so long after its last use a server has closed a connection for sure
+    )
 
     @property
-    def id(self) -> MemberId:
+    def member_id(self) -> MemberId:
         """This member as it is now."""
-        return f"{self.me}/{self.incarnation}"
+        return f"{self.member_name}/{self.incarnation}"
 
 
 class LeaseClient(Protocol):
--- a/badgeryoke/cluster/placement/directory.py
+++ b/badgeryoke/cluster/placement/directory.py
@@ -25,7 +25,7 @@
 import msgspec
 import xxhash
 
-from badgeryoke.cluster.bootstrap import MOST_MEMBERS, BootstrapRecord
+from badgeryoke.cluster.bootstrap import MAX_MEMBERS, BootstrapRecord
 from badgeryoke.cluster.errors import InvalidCall, NotFound, Overloaded, StaleIncarnation, WrongState
 from badgeryoke.cluster.events import ChangeMembership, PersistedGroup
 from badgeryoke.cluster.invariants import Invariants, Rule
@@ -34,12 +34,14 @@
 from badgeryoke.cluster.state_machine.part import FLEET, ApplyResult, Command, LeaderView
 from badgeryoke.cluster.timings import Timings
 
-LONGEST_NAME = 64
-MOST_PAST = 4  # earlier Ids remembered of a name: none of them can come back
-SLOW = "the newcomer does not catch up"
+MAX_NAME_LENGTH = 64
+MAX_PAST_IDS = 4  # earlier Ids remembered of a name: none of them can come back
+SLOW_LEARNER = "the newcomer does not catch up"
 # a newcomer that takes longer to catch up is given up, and not asked again for as long
-LONGEST_MOVE_MS = 60_000.0
-FORCED_TERMS = 1 << 20  # a forced group's term goes on by so much: no member given up can have reached it
+MAX_MOVE_DURATION_MS = 60_000.0
+FORCED_TERM_INCREMENT = (
+    1 << 20
+)  # a forced group's term goes on by so much: no member given up can have reached it
 
 
 def _score(one: str, other: str) -> int:
@@ -47,7 +49,7 @@
 
 
 @lru_cache(maxsize=8192)
-def group_of(key: str, count: int) -> str:
+def group_for_key(key: str, count: int) -> str:
     """The group of a command's key: "" is the fleet's own, anything else one of "g0" to "g(count - 1)".
 
     The key's first letter, its kind, does not count.  One group more moves 1 / (count + 1) of the keys."""
@@ -56,21 +58,21 @@
     return max((f"g{at}" for at in range(count)), key=lambda group: _score(group, key[1:]))
 
 
-def copies_for(copies: int, members: int) -> int:
+def replica_count(copies: int, members: int) -> int:
     """Copies that a group has: an odd number within `copies` and the members there are; both, where there
     are two."""
     most = min(copies, members)
     return most if most % 2 or most == 2 else most - 1
 
 
-def first_placing(record: BootstrapRecord) -> dict[str, tuple[MemberId, ...]]:
+def initial_placement(record: BootstrapRecord) -> dict[str, tuple[MemberId, ...]]:
     """Voters of each group at the founding: a hall that has none yet first, then who holds least; hashing
     breaks ties.
 
     Within a hall nobody holds over one group more than another that could have taken it."""
-    count, load = copies_for(record.copies, len(record.members)), Counter[MemberId]()
+    count, load = replica_count(record.replication_factor, len(record.members)), Counter[MemberId]()
     placed: dict[str, tuple[MemberId, ...]] = {}
-    for group in (FLEET, *(f"g{at}" for at in range(record.groups))):
+    for group in (FLEET, *(f"g{at}" for at in range(record.group_count))):
         chosen: list[MemberId] = []
         halls: set[str] = set()
         for _ in range(count):
@@ -94,12 +96,15 @@
 
     name: str
     who: MemberId
-    hall: str
+    zone: str = msgspec.field(name="hall")
 
     def validate(self) -> str:
-        if not 1 <= len(self.name) <= LONGEST_NAME or len(self.hall) > LONGEST_NAME:
-            return f"name, hall: expected up to {LONGEST_NAME} letters"
-        if member_name(self.who) != self.name or not len(self.name) + 1 < len(self.who) <= 2 * LONGEST_NAME:
+        if not 1 <= len(self.name) <= MAX_NAME_LENGTH or len(self.zone) > MAX_NAME_LENGTH:
+            return f"name, hall: expected up to {MAX_NAME_LENGTH} letters"
+        if (
+            member_name(self.who) != self.name
+            or not len(self.name) + 1 < len(self.who) <= 2 * MAX_NAME_LENGTH
+        ):
             return f"who: expected {self.name}/INCARNATION"
         return ""
 
@@ -153,16 +158,16 @@
 
     lost: MemberId
     new: MemberId
-    since: float = 0.0
+    started_at_ms: float = 0.0
 
 
 class GroupPlacement(msgspec.Struct, frozen=True, array_like=True):
     """A group, as its leader last reported it."""
 
     voters: tuple[MemberId, ...]
-    number: int = 0
-    behind: tuple[MemberId, ...] = ()
-    reports: int = 0
+    config_index: int = 0
+    lagging: tuple[MemberId, ...] = ()
+    report_count: int = 0
 
 
 class PlacementDirectory:
@@ -170,25 +175,25 @@
 
     def __init__(self, timings: Timings, rules: Invariants) -> None:
         self._timings, self._rules = timings, rules
-        self.copies = 0  # as the founding record asks for
+        self.replication_factor = 0  # as the founding record asks for
         self.members: dict[str, tuple[MemberId, str]] = {}  # by name: its present Id, and its hall
-        self.past: dict[str, list[MemberId]] = {}  # by name: Ids that are lost for good
+        self.past_ids: dict[str, list[MemberId]] = {}  # by name: Ids that are lost for good
         self.groups: dict[str, GroupPlacement] = {}
         self.moves: dict[str, ReplicaMove] = {}  # by group
-        self.begun = 0  # moves ever begun
-        self.slow: dict[MemberId, int] = {}  # who did not catch up in time, and in which move
+        self.move_count = 0  # moves ever begun
+        self.slow_learners: dict[MemberId, int] = {}  # who did not catch up in time, and in which move
         # When this machine's own clock saw them first, never dumped: a stepped wall clock must not time them.
         self._since: dict[tuple[str, MemberId], float] = {}  # a group's move, by its newcomer
         self._slow_since: dict[tuple[MemberId, int], float] = {}
 
-    def begin(self, record: BootstrapRecord) -> None:
+    def initialize(self, record: BootstrapRecord) -> None:
         """As founded: the same at every copy, before any entry is applied.  Changes nothing where there is
         state."""
         if self.groups:
             return
-        self.copies = record.copies
+        self.replication_factor = record.replication_factor
         self.members = {member_name(who): (who, hall) for who, hall in record.members}
-        self.groups = {group: GroupPlacement(voters) for group, voters in first_placing(record).items()}
+        self.groups = {group: GroupPlacement(voters) for group, voters in initial_placement(record).items()}
 
     # The log
     # ---------------------------------------------------------------------------------------------------------
@@ -212,24 +217,24 @@
             return ApplyResult(error=WrongState(command.group, "no such move is under way"))
         del self.moves[command.group]
         if (
-            command.new and command.why == SLOW
+            command.new and command.why == SLOW_LEARNER
         ):  # one that was lost meanwhile is as good as any when it is back
-            self.slow[command.new] = self.begun
+            self.slow_learners[command.new] = self.move_count
         return ApplyResult("forgone")
 
     def _enrol(self, command: EnrolMember) -> ApplyResult:
         known = self.members.get(command.name)
-        if command.who in self.past.get(command.name, ()):
+        if command.who in self.past_ids.get(command.name, ()):
             return ApplyResult(error=StaleIncarnation(command.who, "a later one is enrolled"))
-        if known is None and len(self.members) >= MOST_MEMBERS:
-            return ApplyResult(error=Overloaded(command.who, f"{MOST_MEMBERS} members are enrolled"))
+        if known is None and len(self.members) >= MAX_MEMBERS:
+            return ApplyResult(error=Overloaded(command.who, f"{MAX_MEMBERS} members are enrolled"))
         if known is not None and known[0] != command.who:
-            self.slow.pop(known[0], None)
-            self.past[command.name] = [*self.past.get(command.name, ()), known[0]][-MOST_PAST:]
+            self.slow_learners.pop(known[0], None)
+            self.past_ids[command.name] = [*self.past_ids.get(command.name, ()), known[0]][-MAX_PAST_IDS:]
             for group in [group for group, move in self.moves.items() if move.new == known[0]]:
                 if known[0] not in self.groups[group].voters:  # it was to come in and is no more
                     del self.moves[group]
-        self.members[command.name] = command.who, command.hall
+        self.members[command.name] = command.who, command.zone
         return ApplyResult("enrolled")
 
     def _replace(self, at_ms: float, command: ReplaceReplica, held: GroupPlacement) -> ApplyResult:
@@ -246,15 +251,15 @@
         if not command.new and len(held.voters) <= 1:
             return ApplyResult(error=WrongState(command.group, "its last voter"))
         self.moves[command.group] = ReplicaMove(command.lost, command.new, at_ms)
-        self.begun += 1
+        self.move_count += 1
         self._rules.check(Rule.CONFIG_ONE, len(self.moves) <= command.most, lambda: f"{self.moves}")
         return ApplyResult("begun")
 
     def _moved(self, command: ReplicaMoved, held: GroupPlacement) -> ApplyResult:
-        if command.number < held.number:
+        if command.number < held.config_index:
             return ApplyResult(error=WrongState(command.group, "a later report is known"))
         self.groups[command.group] = GroupPlacement(
-            command.voters, command.number, command.behind, held.reports + 1
+            command.voters, command.number, command.behind, held.report_count + 1
         )
         move = self.moves.get(command.group)
         if (
@@ -271,7 +276,7 @@
             {
                 "members": {name: {"id": who, "hall": hall} for name, (who, hall) in self.members.items()},
                 "groups": {
-                    group: {"voters": list(held.voters), "behind": list(held.behind)}
+                    group: {"voters": list(held.voters), "behind": list(held.lagging)}
                     for group, held in self.groups.items()
                 },
                 "moves": {group: {"lost": move.lost, "new": move.new} for group, move in self.moves.items()},
@@ -285,29 +290,43 @@
             key: self._since.get(key, now)
             for key in ((group, move.new) for group, move in self.moves.items())
         }
-        self._slow_since = {key: self._slow_since.get(key, now) for key in self.slow.items()}
+        self._slow_since = {key: self._slow_since.get(key, now) for key in self.slow_learners.items()}
 
     def dump(self) -> Any:
         """Plain data."""
         return msgspec.to_builtins(
-            [self.copies, self.members, self.past, self.groups, self.moves, self.begun, self.slow]
+            [
+                self.replication_factor,
+                self.members,
+                self.past_ids,
+                self.groups,
+                self.moves,
+                self.move_count,
+                self.slow_learners,
+            ]
         )
 
     def load(self, raw: Any) -> None:
         """In place of all there is."""
-        (self.copies, self.members, self.past, self.groups, self.moves, self.begun, self.slow) = (
-            msgspec.convert(
-                raw,
-                tuple[
-                    int,
-                    dict[str, tuple[MemberId, str]],
-                    dict[str, list[MemberId]],
-                    dict[str, GroupPlacement],
-                    dict[str, ReplicaMove],
-                    int,
-                    dict[MemberId, int],
-                ],
-            )
+        (
+            self.replication_factor,
+            self.members,
+            self.past_ids,
+            self.groups,
+            self.moves,
+            self.move_count,
+            self.slow_learners,
+        ) = msgspec.convert(
+            raw,
+            tuple[
+                int,
+                dict[str, tuple[MemberId, str]],
+                dict[str, list[MemberId]],
+                dict[str, GroupPlacement],
+                dict[str, ReplicaMove],
+                int,
+                dict[MemberId, int],
+            ],
         )
         self._since, self._slow_since = {}, {}
 
@@ -318,7 +337,7 @@
         """Of each group, as last reported."""
         return {group: held.voters for group, held in self.groups.items()}
 
-    def holds(self, who: MemberId) -> list[str]:
+    def groups_of(self, who: MemberId) -> list[str]:
         """Groups that an Id copies or is to copy."""
         return [
             group
@@ -330,10 +349,10 @@
         known = self.members.get(member_name(who))
         return known is not None and known[0] == who
 
-    def missing(self, view: LeaderView) -> list[str]:
+    def replication_problems(self, view: LeaderView) -> list[str]:
         """What keeps the copies from being whole (COPIES_WHOLE), a line each; empty: every group has its
         copies, all present, alive and caught up, and nothing is on its way."""
-        want = copies_for(self.copies, len(self.members))
+        want = replica_count(self.replication_factor, len(self.members))
         lines = [
             f"{group}: {move.new or 'nobody'} for {move.lost or 'nobody'} is under way"
             for group, move in self.moves.items()
@@ -348,12 +367,12 @@
             ]
             lines += [
                 f"{group}: {who} has not caught up"
-                for who in dict.fromkeys((*held.behind, *view.behind.get(group, ())))
+                for who in dict.fromkeys((*held.lagging, *view.behind.get(group, ())))
                 if who in held.voters
             ]
         return lines
 
-    def wanted(
+    def next_membership_change(
         self, group: str, config: GroupConfiguration, behind: tuple[MemberId, ...], alive: frozenset[MemberId]
     ) -> ChangeMembership | None:
         """The next change that the group's leader makes, given its committed configuration, the learners
@@ -389,17 +408,21 @@
             return None if new in behind else ("promote", new)
         return ("remove", move.lost) if move.lost in config.voters else None
 
-    def report(
+    def configuration_report(
         self, group: str, config: GroupConfiguration, number: int, behind: tuple[MemberId, ...] = ()
     ) -> ReplicaMoved | None:
         """What the group's leader has to report of its committed configuration; None where it is known.
         `behind`: voters that have long not caught up (a second or more), so that each lag is not an entry."""
         held = self.groups.get(group)
         behind = tuple(who for who in config.voters if who in behind)
-        if held is None or number < held.number or (held.voters, held.behind) == (config.voters, behind):
+        if (
+            held is None
+            or number < held.config_index
+            or (held.voters, held.lagging) == (config.voters, behind)
+        ):
             return None
         return ReplicaMoved(
-            id=f"moved:{group}:{number}:{held.reports}:{'+'.join(behind)}",
+            id=f"moved:{group}:{number}:{held.report_count}:{'+'.join(behind)}",
             group=group,
             voters=config.voters,
             number=number,
@@ -416,8 +439,8 @@
         made: list[Command] = []
         for who in sorted(view.alive):
             name = member_name(who)
-            if not self._present(who) and name in view.halls and who not in self.past.get(name, ()):
-                made.append(EnrolMember(id=f"enrol:{who}", name=name, who=who, hall=view.halls[name]))
+            if not self._present(who) and name in view.zones and who not in self.past_ids.get(name, ()):
+                made.append(EnrolMember(id=f"enrol:{who}", name=name, who=who, zone=view.zones[name]))
         made += self._forgo(view)
         if made:
             return made  # what follows looks at the state that comes of it
@@ -427,7 +450,7 @@
         if (
             not made
             and not self.moves
-            and not self.missing(view)
+            and not self.replication_problems(view)
             and (move := self._evened(view)) is not None
         ):
             made.append(self._begin(view, 0, *move))
@@ -435,7 +458,7 @@
 
     def _begin(self, view: LeaderView, at: int, group: str, lost: MemberId, new: MemberId) -> ReplaceReplica:
         return ReplaceReplica(
-            id=f"replace:{group}:{lost}:{new}:{self.begun + at}",
+            id=f"replace:{group}:{lost}:{new}:{self.move_count + at}",
             group=group,
             lost=lost,
             new=new,
@@ -444,7 +467,7 @@
 
     def _lost(self, view: LeaderView, who: MemberId) -> bool:
         """For good, or for longer than a copy is waited for."""
-        dead = view.dead_for
+        dead = view.dead_for_ms
         return not self._present(who) or (
             who not in view.alive
             and dead.get(who, dead.get(member_name(who) + "/", 0.0)) >= view.timings.repair_after_ms
@@ -469,7 +492,7 @@
                 and move.new not in held.voters
                 and self._long(view, self._since.get((group, move.new)))
             ):
-                why = SLOW
+                why = SLOW_LEARNER
             elif (
                 not self._acts(view, held)
                 and sum(self._lost(view, who) for who in held.voters)
@@ -479,14 +502,16 @@
             else:
                 continue
             found.append(
-                CancelMove(id=f"forgo:{group}:{move.new}:{self.begun}", group=group, new=move.new, why=why)
+                CancelMove(
+                    id=f"forgo:{group}:{move.new}:{self.move_count}", group=group, new=move.new, why=why
+                )
             )
         return found
 
     @staticmethod
     def _long(view: LeaderView, since: float | None) -> bool:
         """Whether so much time has gone by since, of which this leader saw all."""
-        return since is not None and view.now - max(since, view.lead_since) > LONGEST_MOVE_MS
+        return since is not None and view.now - max(since, view.lead_since) > MAX_MOVE_DURATION_MS
 
     def _loads(self) -> Counter[MemberId]:
         load = Counter(who for held in self.groups.values() for who in held.voters)
@@ -501,12 +526,15 @@
             for who, hall in self.members.values()
             if who in view.alive
             and who not in held.voters
-            and (who not in self.slow or self._long(view, self._slow_since.get((who, self.slow[who]))))
+            and (
+                who not in self.slow_learners
+                or self._long(view, self._slow_since.get((who, self.slow_learners[who])))
+            )
         ]
 
     def _repairs(self, view: LeaderView, room: int) -> list[Command]:
         """Copies to make again, the group with the fewest living first, then the fleet's own."""
-        want, load = copies_for(self.copies, len(self.members)), self._loads()
+        want, load = replica_count(self.replication_factor, len(self.members)), self._loads()
         broken: list[tuple[int, bool, str, MemberId, bool]] = []
         for group, held in self.groups.items():
             if group in self.moves or not self._acts(view, held):
@@ -563,7 +591,7 @@
         return best[1:] if best is not None else None
 
 
-def forced(
+def force_sole_voter(
     saved: PersistedGroup, group: str, survivor: MemberId, lost: tuple[MemberId, ...], now: float
 ) -> PersistedGroup:
     """A group that lost its majority for good, restarted by the operators from one copy's log as its sole
@@ -581,7 +609,7 @@
     config = log.config
     if config is None or survivor not in config.voters or {survivor, *lost} != set(config.voters) or not lost:
         return saved
-    term, voters = saved.term + FORCED_TERMS, config.voters
+    term, voters = saved.term + FORCED_TERM_INCREMENT, config.voters
     made = [log.at(index) for index in range(log.base + 1, log.last + 1)]
     for who in lost:  # one at a time, as every change of members
         voters = tuple(one for one in voters if one != who)
--- a/badgeryoke/cluster/reservations/contract.py
+++ b/badgeryoke/cluster/reservations/contract.py
@@ -863,7 +863,7 @@
         made: list[Command] = []
         units = view.load.get("capacity", 0.0)
         if units > 0.0 and abs(units - self.capacity) > 0.02 * self.capacity:
-            reserve = view.load.get("reserve", 1.0 / max(len(view.halls), 2))
+            reserve = view.load.get("reserve", 1.0 / max(len(view.zones), 2))
             made.append(
                 SetCapacity(
                     id=f"capacity/{self.stated}",
--- a/badgeryoke/cluster/rolling_restart/restart.py
+++ b/badgeryoke/cluster/rolling_restart/restart.py
@@ -620,8 +620,8 @@
                 - (len(voters) // 2 + 1),
             )
         missing += sum(member_name(who) not in left for found in view.behind.values() for who in found)
-        halls = {view.halls[name] for name in alive if name in view.halls}
-        left = {view.halls[name] for name in alive - away if name in view.halls}
+        halls = {view.zones[name] for name in alive if name in view.zones}
+        left = {view.zones[name] for name in alive - away if name in view.zones}
         short = 0 if roll.ask.hall_may_go and left else len(halls - left)
         have = -1.0
         if "capacity" in view.load:
@@ -645,7 +645,7 @@
             if one.stand is G.WARMING and view.wall - one.since >= roll.ask.warm_ms
         ]
         if roll.state is S.CANCELLING:
-            lost = {member_name(who): ms for who, ms in view.dead_for.items()}
+            lost = {member_name(who): ms for who, ms in view.dead_for_ms.items()}
             made += [
                 self._stepped(roll, name, E.LOST)
                 for name, one in roll.gateways.items()
@@ -716,20 +716,20 @@
         """Who comes when: as asked for, and this leader last, so that it hands over once."""
         ask = roll.ask
         names = list(ask.gateways) or [
-            name for name in sorted(view.halls) if ask.hall in ("", view.halls[name])
+            name for name in sorted(view.zones) if ask.hall in ("", view.zones[name])
         ]
-        unknown = [name for name in names if name not in view.halls]
+        unknown = [name for name in names if name not in view.zones]
         if unknown or not names:
             return self._turned(
                 roll, T.IMPOSSIBLE, f"no such gateway: {', '.join(unknown)[:MOST_TEXT] or ask.hall}"
             )
         names.sort(key=lambda name: name == member_name(view.me))
-        return self._turned(roll, T.PLANNED, order=tuple(names), members=len(view.halls))
+        return self._turned(roll, T.PLANNED, order=tuple(names), members=len(view.zones))
 
     def _failed(self, view: LeaderView, roll: RollingRestart) -> str:
         """What has gone wrong with those under way.  Who left in order is not dead: a restart is seen as
         that for a moment when its process is back."""
-        dead = {member_name(who) for who in view.dead_for} - {member_name(who) for who in view.alive}
+        dead = {member_name(who) for who in view.dead_for_ms} - {member_name(who) for who in view.alive}
         for name, one in roll.gateways.items():
             if one.stand not in UNDER_WAY:
                 continue
--- a/badgeryoke/cluster/state_machine/machine.py
+++ b/badgeryoke/cluster/state_machine/machine.py
@@ -24,11 +24,11 @@
 from badgeryoke.cluster.timings import Timings
 
 # of calls that are remembered with their answers; the oldest goes first, and then a repeat is new
-MOST_IDS = 8192
-MOST_ANSWERS = (
+MAX_REMEMBERED_IDS = 8192
+MAX_REMEMBERED_ANSWER_BYTES = (
     8 * 1024 * 1024
 )  # bytes of their answers, a part of what a snapshot takes: the oldest goes first, too
-MOST_BODY = 256 * 1024
+MAX_COMMAND_BYTES = 256 * 1024
 
 
 class CommandRegistry:
@@ -36,11 +36,11 @@
 
     def __init__(self) -> None:
         self.commands: dict[str, type[Command]] = {}
-        self.own: dict[str, Callable[[Timings, Invariants], Any]] = {}
-        self.others: dict[str, Callable[[Timings, Invariants], Any]] = {}
+        self.cluster_parts: dict[str, Callable[[Timings, Invariants], Any]] = {}
+        self.group_parts: dict[str, Callable[[Timings, Invariants], Any]] = {}
         self.part_of: dict[type[Command], str] = {}
 
-    def add(
+    def register(
         self,
         name: str,
         commands: tuple[type[Command], ...],
@@ -48,25 +48,25 @@
         own: bool,
     ) -> None:
         """Hang in a part under a name that snapshots go by."""
-        (self.own if own else self.others)[name] = make
+        (self.cluster_parts if own else self.group_parts)[name] = make
         for command in commands:
             self.commands[command.command_name()] = command
             self.part_of[command] = name
 
 
 REGISTRY = CommandRegistry()
-REGISTRY.add("promises", key_value.COMMANDS, lambda timings, rules: key_value.KeyValueStore(), False)
-REGISTRY.add("placing", directory.COMMANDS, directory.PlacementDirectory, True)
-REGISTRY.add("contracts", contract.FLEET_COMMANDS, contract.ContractRegistry, True)
-REGISTRY.add("rolls", restart.COMMANDS, lambda timings, rules: restart.RollingRestarts(rules), True)
-REGISTRY.add("floors", contract.TENANT_COMMANDS, contract.GuaranteedRates, False)
-REGISTRY.add(
+REGISTRY.register("promises", key_value.COMMANDS, lambda timings, rules: key_value.KeyValueStore(), False)
+REGISTRY.register("placing", directory.COMMANDS, directory.PlacementDirectory, True)
+REGISTRY.register("contracts", contract.FLEET_COMMANDS, contract.ContractRegistry, True)
+REGISTRY.register("rolls", restart.COMMANDS, lambda timings, rules: restart.RollingRestarts(rules), True)
+REGISTRY.register("floors", contract.TENANT_COMMANDS, contract.GuaranteedRates, False)
+REGISTRY.register(
     "connections",
     connection_limits.COMMANDS,
     lambda timings, rules: connection_limits.ConnectionLimits(rules, timings),
     False,
 )
-REGISTRY.add(
+REGISTRY.register(
     "owed", unreported_usage.COMMANDS, lambda timings, rules: unreported_usage.UnreportedUsage(), False
 )
 
@@ -74,12 +74,12 @@
 _decoder: Any = None
 
 
-def encode(at_ms: float, command: Command) -> bytes:
+def encode_command(at_ms: float, command: Command) -> bytes:
     """An entry's body: the leader's time, Unix ms, and the command."""
     return _encoder.encode([at_ms, command])
 
 
-def decode(body: bytes) -> tuple[float, Command]:
+def decode_command(body: bytes) -> tuple[float, Command]:
     """The reverse; raises msgspec.DecodeError."""
     global _decoder
     if _decoder is None:
@@ -89,7 +89,7 @@
     return made
 
 
-def command_from(name: str, fields: dict[str, Any]) -> Command | InvalidCall:
+def parse_command(name: str, fields: dict[str, Any]) -> Command | InvalidCall:
     """A command from an operator's words, checked."""
     kind = REGISTRY.commands.get(name)
     if kind is None:
@@ -107,7 +107,7 @@
 
     def __init__(self, group: str, timings: Timings, rules: Invariants) -> None:
         self.group, self._rules = group, rules
-        made = REGISTRY.own if group == FLEET else REGISTRY.others
+        made = REGISTRY.cluster_parts if group == FLEET else REGISTRY.group_parts
         self.parts: dict[str, Any] = {name: make(timings, rules) for name, make in made.items()}
         self.at_ms = 0.0  # the group's own time, Unix ms
         self.index = 0
@@ -121,7 +121,7 @@
         )
         self.index = index
         try:
-            at_ms, command = decode(body)
+            at_ms, command = decode_command(body)
         except msgspec.DecodeError as fault:
             return ApplyResult(error=InvalidCall(self.group, f"an entry that cannot be read: {fault}"))
         self.at_ms = max(self.at_ms, at_ms)
@@ -149,7 +149,7 @@
         """The oldest answers, beyond the bounds.  What is left depends on the order of calls alone, so
         that all copies forget the same, and one that was restored as well: from an older build's snapshot
         there may be too many."""
-        while len(self._ids) > MOST_IDS or self._answers > MOST_ANSWERS:
+        while len(self._ids) > MAX_REMEMBERED_IDS or self._answers > MAX_REMEMBERED_ANSWER_BYTES:
             self._answers -= len(self._ids.pop(next(iter(self._ids)))[1])
 
     def query(self, command: Command) -> ApplyResult:
--- a/badgeryoke/cluster/state_machine/part.py
+++ b/badgeryoke/cluster/state_machine/part.py
@@ -61,8 +61,8 @@
     lead_since: float
     timings: Timings
     alive: frozenset[MemberId]  # by membership, as an opinion
-    dead_for: dict[MemberId, float]  # ms since this member believes it dead
-    halls: dict[str, str]  # hall of each member's name
+    dead_for_ms: dict[MemberId, float]  # ms since this member believes it dead
+    zones: dict[str, str]  # hall of each member's name
     load: dict[str, float]  # figures that the gateway knows: "capacity", "demand", ... (units a second)
     groups: dict[str, tuple[MemberId, ...]]  # voters of each group, as the fleet's group has placed them
     behind: dict[str, tuple[MemberId, ...]]  # learners of the groups led here that have not caught up yet
--- a/badgeryoke/cluster/timings.py
+++ b/badgeryoke/cluster/timings.py
@@ -30,7 +30,7 @@
         return self.lease_ms * (1.0 + self.clock_drift) / (1.0 - self.clock_drift)
 
 
-def faults(made: Timings) -> list[str]:
+def find_problems(made: Timings) -> list[str]:
     """What does not go together, each line with its key."""
     found = [
         f"{name}: expected above 0, got {getattr(made, name)!r}"
--- a/badgeryoke/cluster/unreported_usage.py
+++ b/badgeryoke/cluster/unreported_usage.py
@@ -166,7 +166,7 @@
                 id=f"owed/{name}/lost", tenant=batch[1], batch=name, by=batch[4], known=False
             )
             for name, batch in self._batches.items()
-            if batch[4] and view.dead_for.get(batch[4], 0.0) >= view.timings.repair_after_ms
+            if batch[4] and view.dead_for_ms.get(batch[4], 0.0) >= view.timings.repair_after_ms
         ]
 
     def seen(self, now: float) -> None:
--- a/badgeryoke/gateway/cluster/connection_leases.py
+++ b/badgeryoke/gateway/cluster/connection_leases.py
@@ -168,12 +168,14 @@
         boot = BOOT.read_text().strip() if BOOT.exists() else ""
         me = process(node.me, boot, secrets.token_hex(6))
         self.keeper = ConnectionLeaseHolder(me, node.setup.timings, rules, self.now(), self.alone)
-        self.rolled = RollingRestartAgent(node.setup.me, me, len(node.setup.members), self._look_soon)
+        self.rolled = RollingRestartAgent(
+            node.setup.member_name, me, len(node.setup.members), self._look_soon
+        )
         self._node = node
-        node.limits = dict(self._limits)
+        node.connection_limits = dict(self._limits)
         if not node.setup.capacity:
             node.load.pop("capacity", None)  # not known: a roll does not judge room by it
-        node.holders += [self, self.rolled]
+        node.lease_clients += [self, self.rolled]
         self._look()
 
     # Links.
@@ -205,7 +207,7 @@
         self._told = True
         self._limits = {**self._named, **{one: most for one in servers if (most := self._limit(one))}}
         if self._node is not None:
-            self._node.limits = dict(self._limits)
+            self._node.connection_limits = dict(self._limits)
 
     # Connections on their way out.
 
@@ -289,7 +291,7 @@
         assert self._node is not None
         missing: dict[str, float] = {}
         made: list[Command] = []
-        for group, state in self._node.states.items():
+        for group, state in self._node.state_machines.items():
             if group == FLEET or not self._node.replicas[group].leading:
                 continue
             for server, one in state.parts["connections"].servers.items():
@@ -336,7 +338,7 @@
         now = self.now()
         keeper.grow = rolled.grow
         keeper.leaving = self.leaving or rolled.lead_nothing
-        node.lead_nothing = rolled.lead_nothing
+        node.avoid_leadership = rolled.lead_nothing
         self._wants(keeper)
         self._close(keeper, now)
         replicas = [one for one in node.replicas.values() if one.me in one.config.voters]
@@ -345,7 +347,7 @@
             trimmed=all(pool.open - pool.closing <= pool.need for pool in keeper.pools.values()),
             drained=self._gateway.drained,
             empty=not self._gateway.unanswered and keeper.empty,
-            whole=node.founding.record is not None and all(one.whole for one in replicas),
+            whole=node.bootstrap.record is not None and all(one.whole for one in replicas),
         )
         for duty in rolled.duties(now):
             log.info("roll %s: %s", rolled.record.get("roll"), duty.name.lower())
--- a/badgeryoke/gateway/cluster/service.py
+++ b/badgeryoke/gateway/cluster/service.py
@@ -48,8 +48,8 @@
 )
 from badgeryoke.cluster.invariants import Invariants, Rule
 from badgeryoke.cluster.messages import AnyMessage, MemberId
-from badgeryoke.cluster.node import ANY, ClusterNode, Member, NodeSetup
-from badgeryoke.cluster.placement.directory import forced
+from badgeryoke.cluster.node import ANY_SERVER, ClusterNode, Member, NodeSetup
+from badgeryoke.cluster.placement.directory import force_sole_voter
 from badgeryoke.cluster.reservations.lease_client import ReservationClient
 from badgeryoke.cluster.state_machine.part import ApplyResult, Command
 from badgeryoke.gateway.cluster.admin_calls import STATUS, line_of, read_call
@@ -91,7 +91,7 @@
     """What the operators' file says, as a node is told it."""
     servers = dict(fleet.servers.limits)
     if fleet.servers.connections:
-        servers[ANY] = fleet.servers.connections
+        servers[ANY_SERVER] = fleet.servers.connections
     return NodeSetup(
         fleet.name,
         fleet.me or name,
@@ -165,7 +165,7 @@
             opened = await asyncio.to_thread(open_store, folder, self.fleet.name, self.me, self.fleet.fsync)
             if isinstance(opened, ClusterStorage):
                 break
-            if not (isinstance(opened, StorageFailed) and opened.what.endswith(HELD)):
+            if not (isinstance(opened, StorageFailed) and opened.detail.endswith(HELD)):
                 self._halt(opened)
                 return
             if not waits:  # the process that this one replaces, mostly
@@ -190,13 +190,13 @@
             log.error("%s", fault)
         setup = setup_of(self.fleet, self.me, opened.incarnation)
         if self.pools is not None:
-            setup = replace(setup, idle_ms=self.pools.idle_ms)
-        self._force(opened, setup.id)
+            setup = replace(setup, connection_idle_ms=self.pools.idle_ms)
+        self._force(opened, setup.member_id)
         self._writer = StoreWriter(opened, self._loop.call_soon_threadsafe, self._stored, self._store_broke)
         addresses = {one.name: split_address(one.address) for one in self.fleet.members}
         self.links = ClusterTransport(
             self.fleet.name,
-            setup.id,
+            setup.member_id,
             addresses,
             self._received,
             self._link_error,
@@ -210,11 +210,11 @@
             self.pools.begin(self.node, self.rules)
             self.pools.wake = self._wake
         if isinstance(
-            holders := getattr(self.node, "holders", None), list
+            holders := getattr(self.node, "lease_clients", None), list
         ):  # a node that is only driven has none
-            hall = next(one.hall for one in setup.members if one.name == setup.me)
+            hall = next(one.zone for one in setup.members if one.name == setup.member_name)
             self.floor = ReservationClient(
-                setup.id, secrets.token_hex(4), setup.timings, hall, len(setup.members)
+                setup.member_id, secrets.token_hex(4), setup.timings, hall, len(setup.members)
             )
             self.floor.wake = self._wake
             holders.append(self.floor)
@@ -225,7 +225,7 @@
         log.info(
             "fleet %s: member %s, %d members, %d groups held",
             self.fleet.name,
-            setup.id,
+            setup.member_id,
             len(setup.members),
             len(opened._groups),
         )
@@ -251,7 +251,7 @@
             if (saved := disk.saved.get(group)) is None:
                 log.warning("fleet.forced.%s: this member holds no copy of it", group)
                 continue
-            made = forced(saved, group, me, lost, self.wall())
+            made = force_sole_voter(saved, group, me, lost, self.wall())
             if made is saved:
                 log.warning(
                     "fleet.forced.%s: nothing to do: done already, or these are not all its other members; "
--- a/badgeryoke/gateway/cluster/settings.py
+++ b/badgeryoke/gateway/cluster/settings.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from badgeryoke.cluster.timings import Timings
-from badgeryoke.cluster.timings import faults as timing_faults
+from badgeryoke.cluster.timings import find_problems as timing_faults
 from badgeryoke.gateway.config.operators_file import unknown, wrong
 from badgeryoke.gateway.discovery.client import split_address
 
--- a/badgeryoke/gateway/cluster/transport.py
+++ b/badgeryoke/gateway/cluster/transport.py
@@ -504,7 +504,7 @@
 
     def _error(self, error: ClusterError) -> None:
         """Tell of it, unless it was told lately."""
-        key, now = (member_name(error.whom), error.code), asyncio.get_running_loop().time()
+        key, now = (member_name(error.subject), error.code), asyncio.get_running_loop().time()
         if key in self._told and now - self._told[key] < TOLD_AGAIN_S:
             return
         if len(self._told) >= MOST_TOLD:
--- a/badgeryoke/testbed/cluster_benchmark.py
+++ b/badgeryoke/testbed/cluster_benchmark.py
@@ -312,7 +312,7 @@
         world.calendar.run(25_000.0)
         sent = sorted((many - before.get(name, 0)) / 5.0 for name, many in world.network.messages.items())
         founded = sum(
-            one.node is not None and one.node.founding.record is not None for one in world.machines.values()
+            one.node is not None and one.node.bootstrap.record is not None for one in world.machines.values()
         )
         print(
             f"{members:3} members, {founded} founded: {sum(sent) / members:6.1f} messages a second each, least "
--- a/badgeryoke/testbed/cluster_simulation/gateway.py
+++ b/badgeryoke/testbed/cluster_simulation/gateway.py
@@ -547,7 +547,7 @@
                 or not node.replicas[FLEET].leading
             ):
                 continue
-            roll = node.states[FLEET].parts["rolls"].active
+            roll = node.state_machines[FLEET].parts["rolls"].active
             if roll is None:
                 continue
             stands = [one.stand.value for one in roll.gateways.values()]
@@ -583,7 +583,7 @@
         true, rolled, keeper, node = self._calendar.now, side.rolled, side.keeper, machine.node
         assert node is not None
         keeper.grow, keeper.leaving = rolled.grow, rolled.lead_nothing
-        node.lead_nothing = rolled.lead_nothing
+        node.avoid_leadership = rolled.lead_nothing
         groups = node.replicas.items()
         drained = rolled.paused and side.paused_at < true - FRONT_MS
         whole = all(
--- a/badgeryoke/testbed/cluster_simulation/world.py
+++ b/badgeryoke/testbed/cluster_simulation/world.py
@@ -44,8 +44,8 @@
     RequestVoteReply,
     member_name,
 )
-from badgeryoke.cluster.node import FOUNDING, ClusterNode, LeaseClient, Member, NodeSetup
-from badgeryoke.cluster.placement.directory import group_of
+from badgeryoke.cluster.node import BOOTSTRAP_GROUP, ClusterNode, LeaseClient, Member, NodeSetup
+from badgeryoke.cluster.placement.directory import group_for_key
 from badgeryoke.cluster.state_machine.part import ApplyResult, Command
 from badgeryoke.cluster.timings import Timings
 from badgeryoke.testbed.checkers.history_checker import Finding, Op, Verdict, judge
@@ -89,7 +89,7 @@
     @property
     def id(self) -> str:
         """As it is now."""
-        return self.setup.id
+        return self.setup.member_id
 
     @property
     def up(self) -> bool:
@@ -123,7 +123,7 @@
             disk.fsync_ms = plan.fsync_ms
             self.machines[member.name] = Machine(
                 member.name,
-                member.hall,
+                member.zone,
                 clock,
                 disk,
                 NodeSetup(
@@ -135,8 +135,8 @@
                     plan.groups,
                     self.timings,
                     capacity=4.0 * sum(text.rate for text in plan.contracts),
-                    servers={f"s{number + 1}": plan.connections for number in range(plan.servers)},
-                    idle_ms=self.idle_ms,
+                    connection_limits={f"s{number + 1}": plan.connections for number in range(plan.servers)},
+                    connection_idle_ms=self.idle_ms,
                 ),
             )
         self.findings: list[Finding] = []
@@ -373,7 +373,7 @@
                 group
                 for machine in self.machines.values()
                 for group in machine.disk.groups
-                if group != FOUNDING and machine.disk.groups[group].last
+                if group != BOOTSTRAP_GROUP and machine.disk.groups[group].last
             }
         )
 
@@ -459,7 +459,7 @@
         for key, ops in self._open.items():
             if not ops:
                 continue
-            group = group_of(f"p:{key}", self.plan.groups)
+            group = group_for_key(f"p:{key}", self.plan.groups)
             if group not in served:
                 config = self.config(group)
                 served[group] = (
--- a/badgeryoke/testbed/emulator/cluster.py
+++ b/badgeryoke/testbed/emulator/cluster.py
@@ -15,7 +15,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-from badgeryoke.cluster.placement.directory import copies_for, group_of
+from badgeryoke.cluster.placement.directory import group_for_key, replica_count
 from badgeryoke.cluster.rolling_restart.restart import least_ms
 from badgeryoke.cluster.state_machine.part import FLEET
 from badgeryoke.testbed.checkers.contract_ledger import FEW, least
@@ -88,7 +88,7 @@
         self.links.targets = dict(enumerate(listen))
         self.mgmt = mgmt
         self.gateways: list[GatewayProcess] = []
-        self.book = Book(lambda name: group_of(f"p:{name}", GROUPS))
+        self.book = Book(lambda name: group_for_key(f"p:{name}", GROUPS))
         self._client_task: asyncio.Task[None] | None = None
         self.client = PromiseClient(mgmt, scenario.proposals, rng, self.book, clock)
         self.frozen: set[int] = set()
@@ -407,7 +407,7 @@
         """Whether each group has a leader that says so: all copies there, on members that run, and none
         behind."""
         ids = {status["me"] for status in self.seen.values()}
-        count = copies_for(self.scenario.copies, self.scenario.gateways)
+        count = replica_count(self.scenario.copies, self.scenario.gateways)
         for group in (FLEET, *(f"g{number}" for number in range(GROUPS))):
             leads = [
                 facts
--- a/tests/cluster/reservations/test_contracts.py
+++ b/tests/cluster/reservations/test_contracts.py
@@ -128,7 +128,7 @@
     part = made()
     before = part.dump()
     error = propose(part, 5.0, "a", asked).error
-    assert isinstance(error, InvalidCall) and key in error.what and part.dump() == before
+    assert isinstance(error, InvalidCall) and key in error.detail and part.dump() == before
 
 
 def test_a_contract_goes_its_way_and_a_window_comes_again() -> None:
@@ -185,7 +185,7 @@
     soon = part.apply(
         50_002.0, ChangeContract(id="z", contract="b", terms=late, holds_from_ms=50_002.0 + TAIL)
     ).error
-    assert isinstance(soon, InvalidCall) and "holds_from_ms" in soon.what
+    assert isinstance(soon, InvalidCall) and "holds_from_ms" in soon.detail
     assert isinstance(part.apply(50_002.0, CancelContract(id="x", contract="no")).error, NotFound)
 
 
--- a/tests/cluster/test_behaviour_digests.py
+++ b/tests/cluster/test_behaviour_digests.py
@@ -78,10 +78,10 @@
     ReadPlacement,
     ReplaceReplica,
     ReplicaMoved,
-    copies_for,
-    first_placing,
-    forced,
-    group_of,
+    force_sole_voter,
+    group_for_key,
+    initial_placement,
+    replica_count,
 )
 from badgeryoke.cluster.raft.log import encode_config
 from badgeryoke.cluster.raft.node import MOST_BODY, RaftNode
@@ -126,9 +126,9 @@
     StartWave,
     least_ms,
 )
-from badgeryoke.cluster.state_machine.machine import GroupStateMachine, command_from, encode
+from badgeryoke.cluster.state_machine.machine import GroupStateMachine, encode_command, parse_command
 from badgeryoke.cluster.state_machine.part import FLEET, Command, LeaderView
-from badgeryoke.cluster.timings import Timings, faults
+from badgeryoke.cluster.timings import Timings, find_problems
 from badgeryoke.cluster.unreported_usage import (
     ClaimUsage,
     ConfirmUsageReported,
@@ -395,7 +395,7 @@
         4, "b/1", Snapshot(3, 2, config, b"x"), (LogEntry(4, 3, COMMAND, b"y"), LogEntry(5, 4, COMMAND, b"z"))
     )
     for lost in (("b/1", "c/1"), ("b/1",), (), ("c/1", "b/1"), ("b/1", "d/1")):
-        digest.add(saved_values(forced(saved, "g", "a/1", lost, START), "g"))
+        digest.add(saved_values(force_sole_voter(saved, "g", "a/1", lost, START), "g"))
     check("forced", digest)
 
 
@@ -423,10 +423,10 @@
                     (
                         name,
                         node.due,
-                        node.alive(),
-                        node.dead_for(self.now),
+                        node.alive_ids(),
+                        node.dead_for_ms(self.now),
                         node.ids(),
-                        node.halls(),
+                        node.zones(),
                         [node.state_of(one.name) for one in self.members],
                     )
                 )
@@ -478,7 +478,7 @@
     for name in names:
         net.start(name)
     for node in net.nodes.values():
-        node.know(net.now, net.ids.values())
+        node.learn_ids(net.now, net.ids.values())
     net.run(1500.0)
     for step in range(steps):
         trouble(net, draw, names)
@@ -527,7 +527,9 @@
             net.start(name)
     net.run(net.now + 15_000.0)
     for node in net.nodes.values():
-        digest.add((node.record, node.founder, None if node.error is None else (node.error.code, node.error)))
+        digest.add(
+            (node.record, node.is_founder, None if node.error is None else (node.error.code, node.error))
+        )
         node.handle(net.now, StorageFailure(StorageFailed("", "full")))
     check(f"founding-{count}-{seed}", digest)
 
@@ -536,11 +538,13 @@
     digest = Digest()
     for members in (1, 2, 3, 5, 8, 20):
         record = BootstrapRecord(
-            "yard", "f0", "m000/1", tuple((f"{one.name}/1", one.hall) for one in members_of(members)), 8, 5
+            "yard", "f0", "m000/1", tuple((f"{one.name}/1", one.zone) for one in members_of(members)), 8, 5
         )
-        digest.add(first_placing(record))
-        digest.add([copies_for(copies, members) for copies in range(1, 8)])
-    digest.add([group_of(f"{kind}:{at}", 8) for kind in "tsp" for at in range(200)] + [group_of("", 3)])
+        digest.add(initial_placement(record))
+        digest.add([replica_count(copies, members) for copies in range(1, 8)])
+    digest.add(
+        [group_for_key(f"{kind}:{at}", 8) for kind in "tsp" for at in range(200)] + [group_for_key("", 3)]
+    )
     check("placing", digest)
 
 
@@ -649,7 +653,7 @@
         if kind == 14:
             name = draw.choice(GATEWAYS)
             return EnrolMember(
-                id=self.id(), name=name, who=f"{name}/{draw.randint(0, 8)}", hall=draw.choice("ab")
+                id=self.id(), name=name, who=f"{name}/{draw.randint(0, 8)}", zone=draw.choice("ab")
             )
         if kind == 15:
             return ReplaceReplica(
@@ -895,7 +899,7 @@
     def fresh(self) -> GroupStateMachine:
         made = GroupStateMachine(self.group, TIMINGS, self.rules)
         if self.group == FLEET:
-            made.parts["placing"].begin(
+            made.parts["placing"].initialize(
                 BootstrapRecord(
                     "yard", "f0", WHO[0], tuple((who, "ab"[at % 2]) for at, who in enumerate(WHO[:5])), 4, 3
                 )
@@ -904,7 +908,7 @@
 
     def apply(self, at_ms: float, command: Command) -> Any:
         self.index += 1
-        result = self.state.apply(self.now, self.index, encode(at_ms, command))
+        result = self.state.apply(self.now, self.index, encode_command(at_ms, command))
         self.digest.add(
             (at_ms, command_values(command), command.key(), command.validate(), applied_values(result))
         )
@@ -968,7 +972,7 @@
         ("Nothing", {}),
         ("RollAsk", {"id": "1", "roll": "r", "at_once": 0}),
     ):
-        made = command_from(name, dict(fields))
+        made = parse_command(name, dict(fields))
         digest.add(command_values(made) if isinstance(made, Command) else made)
     for timings in (
         TIMINGS,
@@ -978,7 +982,7 @@
         Timings(probe_timeout_ms=400.0),
         Timings(lease_ms=1000.0),
     ):
-        digest.add((faults(timings), timings.outlast()))
+        digest.add((find_problems(timings), timings.outlast()))
     digest.add(spans((Window(5.0, 6.0), Window(1.0, 2.0, 2.0, 4.0))))
     check("operators", digest)
 
@@ -1397,8 +1401,8 @@
             )
             answers_of(node, digest, now, ClusterCall(f"r{step}", ReadValue(id=f"q{step}", name="n")))
             answers_of(node, digest, now, ClusterCall(f"b{step}", PutValue(id=f"b{step}", name="", value="")))
-    good = encode(START, PutValue(id="far", name="n", value="w"))
-    bad = encode(START, PutValue(id="far", name="", value="w"))
+    good = encode_command(START, PutValue(id="far", name="n", value="w"))
+    bad = encode_command(START, PutValue(id="far", name="", value="w"))
     for group, body in (("g0", b"junk"), ("g0", good), ("g1", good), ("g0", bad), ("g9", good)):
         answers_of(node, digest, now, MessageReceived("m000/2", ForwardedCall(f"f{group}", group, body, 1)))
     for token, body in (("x.1", b""), ("nodigits", b""), ("b9.1", b"\x93\xc0\xc0\xa0")):
--- a/tests/cluster/test_golden_cluster.py
+++ b/tests/cluster/test_golden_cluster.py
@@ -34,13 +34,13 @@
 from badgeryoke.cluster.invariants import Invariants, Rule
 from badgeryoke.cluster.messages import AnyMessage, Message
 from badgeryoke.cluster.node import ClusterNode
-from badgeryoke.cluster.node import _replies as forwarded_answers
+from badgeryoke.cluster.node import reply_decoder as forwarded_answers
 from badgeryoke.cluster.node_setup import NodeSetup
 from badgeryoke.cluster.placement import directory
-from badgeryoke.cluster.placement.directory import group_of
+from badgeryoke.cluster.placement.directory import group_for_key
 from badgeryoke.cluster.reservations import contract
 from badgeryoke.cluster.rolling_restart import restart
-from badgeryoke.cluster.state_machine.machine import REGISTRY, GroupStateMachine, encode
+from badgeryoke.cluster.state_machine.machine import REGISTRY, GroupStateMachine, encode_command
 from badgeryoke.cluster.state_machine.part import FLEET, ApplyResult, Command, LeaderView
 from badgeryoke.cluster.timings import Timings
 from badgeryoke.gateway.cluster.admin_calls import known, line_of, read_call
@@ -192,8 +192,8 @@
         | {name: [one.value for one in kind] for name, kind in values.items()}
         | {
             "reports": list(restart.REPORTS),
-            "fleet parts": list(REGISTRY.own),
-            "other parts": list(REGISTRY.others),
+            "fleet parts": list(REGISTRY.cluster_parts),
+            "other parts": list(REGISTRY.group_parts),
         }
     )
 
@@ -215,9 +215,9 @@
         lead_since=NODE_TIME_MS,
         timings=Timings(),
         alive=frozenset({"a/1", "b/5", "c/3"}),
-        dead_for={"b/2": 1e6},
+        dead_for_ms={"b/2": 1e6},
         load={"capacity": 900.0, "demand": 10.0},
-        halls={"a": "east", "b": "west", "c": "east", "d": "west"},
+        zones={"a": "east", "b": "west", "c": "east", "d": "west"},
         groups={"g0": ("a/1", "b/5", "c/3"), "g1": ("a/1", "b/5", "c/3")},
         behind={},
     )
@@ -237,7 +237,7 @@
         "early": early.hex(),
         "late": late.hex(),
         "values": values,
-        "work": [encode(START_MS, command).hex() for command in state.leader_tasks(leaders_view())],
+        "work": [encode_command(START_MS, command).hex() for command in state.leader_tasks(leaders_view())],
     }
 
 
@@ -387,10 +387,10 @@
             return []
         self._at_ms += 1000.0
         command = event.command
-        group = group_of(command.key(), FOUNDING.groups)
+        group = group_for_key(command.key(), FOUNDING.group_count)
         if command.reads:
             return [OperationCompleted(event.token, self.states[group].query(command))]
-        return [OperationCompleted(event.token, self.apply(group, encode(self._at_ms, command)))]
+        return [OperationCompleted(event.token, self.apply(group, encode_command(self._at_ms, command)))]
 
     def apply(self, group: str, body: bytes) -> ApplyResult:
         """One more entry of a group."""
@@ -523,8 +523,8 @@
     go."""
     last = history_entries(OTHER)[-1]
     put = key_value.PutValue(id="x1", name="note", value="armed")
-    entry = messages.LogEntry(last.index + 1, 8, messages.COMMAND, encode(START_MS + 70_000.0, put))
-    group = group_of(put.key(), FOUNDING.groups)
+    entry = messages.LogEntry(last.index + 1, 8, messages.COMMAND, encode_command(START_MS + 70_000.0, put))
+    group = group_for_key(put.key(), FOUNDING.group_count)
     append = messages.AppendEntries(
         group=OTHER,
         term=8,
@@ -537,7 +537,7 @@
     beat = messages.AppendEntries(
         group=OTHER, term=8, previous=entry.index, previous_term=8, entries=(), commit=entry.index, round=2
     )
-    call = encode(START_MS + 71_000.0, put)
+    call = encode_command(START_MS + 71_000.0, put)
     received: list[messages.AnyMessage] = [
         messages.ForwardedCall(token="c.1", group=group, body=call, hops=1),
         messages.ForwardedCall(token="c.2", group="g9", body=call, hops=1),
@@ -546,7 +546,7 @@
             token="c.4",
             group=group,
             hops=1,
-            body=encode(START_MS, key_value.PutValue(id="x2", name="", value="")),
+            body=encode_command(START_MS, key_value.PutValue(id="x2", name="", value="")),
         ),
         messages.IdentityQuery(sender_hall="east"),
         messages.Ping(seq=3, target="a/1", gossip=(), wall=START_MS),
@@ -594,7 +594,9 @@
     """The log of a group that goes on by hand without its other members."""
     disk = opened(folder)
     disk.close()
-    return canonical(directory.forced(disk.saved[OTHER], OTHER, "a/1", ("b/2", "c/3"), START_MS + 90_000.5))
+    return canonical(
+        directory.force_sole_voter(disk.saved[OTHER], OTHER, "a/1", ("b/2", "c/3"), START_MS + 90_000.5)
+    )
 
 
 def test_a_group_that_goes_on_by_hand_has_the_same_log_as_ever(folder: Path) -> None:
--- a/tests/cluster/test_membership.py
+++ b/tests/cluster/test_membership.py
@@ -14,7 +14,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from badgeryoke.cluster.bootstrap import Bootstrap, BootstrapRecord, read
+from badgeryoke.cluster.bootstrap import Bootstrap, BootstrapRecord, decode_record
 from badgeryoke.cluster.errors import ClusterMismatch, InvalidCall, Overloaded, StaleIncarnation
 from badgeryoke.cluster.events import (
     HardState,
@@ -28,7 +28,7 @@
     Tick,
 )
 from badgeryoke.cluster.invariants import Invariants
-from badgeryoke.cluster.membership.protocol import LEFT_GRACE, Membership
+from badgeryoke.cluster.membership.protocol import LEFT_GRACE_MULTIPLE, Membership
 from badgeryoke.cluster.messages import (
     CONFIG,
     NOTHING,
@@ -42,19 +42,19 @@
     Ping,
     member_name,
 )
-from badgeryoke.cluster.node_setup import FOUNDING, Member, NodeSetup
+from badgeryoke.cluster.node_setup import BOOTSTRAP_GROUP, Member, NodeSetup
 from badgeryoke.cluster.placement.directory import (
-    FORCED_TERMS,
-    LONGEST_MOVE_MS,
+    FORCED_TERM_INCREMENT,
+    MAX_MOVE_DURATION_MS,
     CancelMove,
     EnrolMember,
     PlacementDirectory,
     ReplaceReplica,
     ReplicaMoved,
-    copies_for,
-    first_placing,
-    forced,
-    group_of,
+    force_sole_voter,
+    group_for_key,
+    initial_placement,
+    replica_count,
 )
 from badgeryoke.cluster.raft.log import RaftLog
 from badgeryoke.cluster.state_machine.part import FLEET, LeaderView
@@ -91,7 +91,7 @@
             self.disk[name] = PersistedGroup()
             self.ids[name] = f"{name}/{self.draw.getrandbits(32):08x}"
         draw, incarnation = random.Random(self.draw.random()), self.ids[name].partition("/")[2]
-        hall = next(one.hall for one in self.members if one.name == name)
+        hall = next(one.zone for one in self.members if one.name == name)
         self.nodes[name] = (
             Membership(self.ids[name], hall, self.members, TIMES, draw, self.now)
             if self.kind == "membership"
@@ -189,7 +189,7 @@
     for one in net.members:
         net.start(one.name)
     for node in net.nodes.values():
-        node.know(net.now, net.ids.values())  # as from the founding record
+        node.learn_ids(net.now, net.ids.values())  # as from the founding record
     net.run(until)
     return net
 
@@ -265,7 +265,7 @@
     ]
     assert net.buried() <= {"m001"}
     assert net.believed("m001") == {"alive": 9}, "and it is among the living again"
-    assert net.nodes["m001"].alive() == frozenset(net.ids.values())
+    assert net.nodes["m001"].alive_ids() == frozenset(net.ids.values())
 
 
 def test_a_thawed_process_begins_its_suspicions_anew() -> None:
@@ -306,12 +306,12 @@
     net.run(30000.0)
     assert net.believed(old) == {"superseded": 4} and net.believed(net.ids["m001"]) == {"alive": 4}
     node = net.nodes["m000"]
-    assert node.dead_for(net.now)[old] > 8000.0 and old not in node.alive()
+    assert node.dead_for_ms(net.now)[old] > 8000.0 and old not in node.alive_ids()
     node.handle(
         net.now,
         MessageReceived(net.ids["m002"], Ping(1, "", (GossipUpdate(old, 0, 99), GossipUpdate(old, 2, 99)))),
     )
-    assert node.state_of(net.ids["m001"]) == "alive" and old in node.dead_for(net.now), (
+    assert node.state_of(net.ids["m001"]) == "alive" and old in node.dead_for_ms(net.now), (
         "no rumour brings it back"
     )
 
@@ -323,8 +323,8 @@
     net.run(10000.0)
     assert net.believed("m001") == {"left": 4} and net.buried() == set()
     node, who = net.nodes["m000"], net.ids["m001"]
-    assert who not in node.dead_for(net.now) and who not in node.alive()
-    assert who in node.dead_for(net.now + LEFT_GRACE * TIMES.repair_after_ms)
+    assert who not in node.dead_for_ms(net.now) and who not in node.alive_ids()
+    assert who in node.dead_for_ms(net.now + LEFT_GRACE_MULTIPLE * TIMES.repair_after_ms)
     net.start("m001")
     net.run(15000.0)
     assert net.believed("m001") == {"alive": 4}
@@ -337,7 +337,9 @@
 def records(net: Net) -> dict[str, BootstrapRecord]:
     """What stands on the disks."""
     found = {
-        name: read(saved.snapshot.body) for name, saved in net.disk.items() if saved.snapshot is not None
+        name: decode_record(saved.snapshot.body)
+        for name, saved in net.disk.items()
+        if saved.snapshot is not None
     }
     return {name: record for name, record in found.items() if record is not None}
 
@@ -350,12 +352,12 @@
     assert not records(net), "not while one is missing"
     net.start("m004")
     net.run(30000.0)
-    assert len({record.founding for record in records(net).values()}) == 1 and len(records(net)) == 5
-    assert all(node.founder and node.due == float("inf") for node in net.nodes.values())
+    assert len({record.bootstrap_id for record in records(net).values()}) == 1 and len(records(net)) == 5
+    assert all(node.is_founder and node.due == float("inf") for node in net.nodes.values())
     net.stop("m000")
     net.start("m000", wiped=True)
     net.run(40000.0)
-    assert net.nodes["m000"].record == net.nodes["m001"].record and not net.nodes["m000"].founder
+    assert net.nodes["m000"].record == net.nodes["m001"].record and not net.nodes["m000"].is_founder
 
 
 @settings(max_examples=60, deadline=None, derandomize=True)
@@ -393,7 +395,7 @@
 def check_one_founding(net: Net) -> None:
     """Founders, as they are now, with their disks, belong to one founding."""
     founders = {
-        record.founding
+        record.bootstrap_id
         for name, record in records(net).items()
         if net.ids[name] in {who for who, _ in record.members}
     }
@@ -407,9 +409,9 @@
     assert [type(one) for one in node.handle(1.0, MessageReceived("a/1", IdentityQuery("x")))] == [
         PersistRecords
     ], "the answer waits"
-    assert node.handle(2.0, MessageReceived("a/2", IdentityQuery("x")))[0].group == FOUNDING  # type: ignore[union-attr]
-    assert node.handle(3.0, RecordsPersisted(FOUNDING, 1)) == []
-    assert node.handle(3.0, RecordsPersisted(FOUNDING, 2)) == [SendMessage("a/2", Announce("x", b""))]
+    assert node.handle(2.0, MessageReceived("a/2", IdentityQuery("x")))[0].group == BOOTSTRAP_GROUP  # type: ignore[union-attr]
+    assert node.handle(3.0, RecordsPersisted(BOOTSTRAP_GROUP, 1)) == []
+    assert node.handle(3.0, RecordsPersisted(BOOTSTRAP_GROUP, 2)) == [SendMessage("a/2", Announce("x", b""))]
     assert node.handle(4.0, MessageReceived("a/1", ClusterFounded(msgspec.msgpack.encode(old)))) == []
     restarted = Bootstrap(setup, PersistedGroup(2, "a/2"), random.Random(1), 0.0)
     assert restarted.handle(4.0, MessageReceived("a/1", ClusterFounded(msgspec.msgpack.encode(old)))) == []
@@ -436,11 +438,11 @@
 
 def test_keys_spread_and_one_group_more_moves_few() -> None:
     keys = [f"t:{at}" for at in range(4000)]
-    assert group_of("", 8) == FLEET and group_of("t:7", 8) == group_of("s:7", 8)
-    spread = Counter(group_of(key, 8) for key in keys)
+    assert group_for_key("", 8) == FLEET and group_for_key("t:7", 8) == group_for_key("s:7", 8)
+    spread = Counter(group_for_key(key, 8) for key in keys)
     assert len(spread) == 8 and max(spread.values()) < 1.25 * min(spread.values())
-    moved = [key for key in keys if group_of(key, 9) != group_of(key, 8)]
-    assert all(group_of(key, 9) == "g8" for key in moved) and len(moved) < 4000 / 9 * 1.2
+    moved = [key for key in keys if group_for_key(key, 9) != group_for_key(key, 8)]
+    assert all(group_for_key(key, 9) == "g8" for key in moved) and len(moved) < 4000 / 9 * 1.2
 
 
 def record_of(halls: list[str], groups: int = 8, copies: int = 3) -> BootstrapRecord:
@@ -453,8 +455,8 @@
 @given(st.lists(st.sampled_from("abc"), min_size=1, max_size=40), st.integers(1, 24), st.sampled_from([3, 5]))
 def test_the_first_placing_is_even_and_in_different_halls(halls: list[str], groups: int, copies: int) -> None:
     record = record_of(halls, groups, copies)
-    placed, of = first_placing(record), dict(record.members)
-    want = copies_for(copies, len(halls))
+    placed, of = initial_placement(record), dict(record.members)
+    want = replica_count(copies, len(halls))
     assert set(placed) == {FLEET, *(f"g{at}" for at in range(groups))}
     for voters in placed.values():
         assert len(set(voters)) == len(voters) == want
@@ -471,7 +473,7 @@
     def __init__(self, halls: list[str], groups: int = 8, copies: int = 3) -> None:
         self.rules = Invariants()
         self.placing = PlacementDirectory(TIMES, self.rules)
-        self.placing.begin(record_of(halls, groups, copies))
+        self.placing.initialize(record_of(halls, groups, copies))
         self.halls = {f"m{at:03}": hall for at, hall in enumerate(halls)}
         self.alive = {name: f"{name}/1" for name in self.halls}
         self.config = {group: GroupConfiguration(voters) for group, voters in self.placing.voters().items()}
@@ -506,7 +508,7 @@
         for group, config in self.config.items():
             if sum(who in alive for who in config.voters) < config.majority():
                 continue
-            change = self.placing.wanted(group, config, self.behind, alive)
+            change = self.placing.next_membership_change(group, config, self.behind, alive)
             if change is not None:
                 learners = tuple(who for who in config.learners if who != change.who)
                 voters = tuple(who for who in config.voters if who != change.who)
@@ -519,7 +521,7 @@
                 self.config[group] = made
                 self.number[group] += 1
                 self.steps += 1
-            report = self.placing.report(group, self.config[group], self.number[group])
+            report = self.placing.configuration_report(group, self.config[group], self.number[group])
             if report is not None:
                 assert self.placing.apply(1e12 + self.now, report).error is None
         raw = msgspec.msgpack.decode(msgspec.msgpack.encode(self.placing.dump()))
@@ -531,15 +533,15 @@
         end = self.now + 1000.0 * seconds
         quiet = 0
         while quiet < 3 and self.now < end:
-            before = self.steps, self.placing.begun
+            before = self.steps, self.placing.move_count
             self.step()
             waiting = any(self.now - at < TIMES.repair_after_ms + 200.0 for at in self.dead.values())
             quiet = (
                 0
-                if waiting or self.placing.moves or (self.steps, self.placing.begun) != before
+                if waiting or self.placing.moves or (self.steps, self.placing.move_count) != before
                 else quiet + 1
             )
-        assert quiet == 3, self.placing.missing(self.view())
+        assert quiet == 3, self.placing.replication_problems(self.view())
 
     def kill(self, name: str) -> MemberId:
         who = self.alive.pop(name)
@@ -563,7 +565,7 @@
             fleet.step()
             assert not fleet.placing.moves, "not before its time"
         held = [group for group, voters in before.items() if lost in voters]
-        while fleet.placing.missing(fleet.view()):
+        while fleet.placing.replication_problems(fleet.view()):
             fleet.step()
             for group, move in fleet.placing.moves.items():
                 voters = {*fleet.config[group].voters, move.new} - {move.lost}
@@ -571,7 +573,7 @@
                     "at no moment in one hall alone"
                 )
         fleet.settle()
-        assert fleet.placing.missing(fleet.view()) == []
+        assert fleet.placing.replication_problems(fleet.view()) == []
         for group in held:
             assert lost not in fleet.config[group].voters
         for config in fleet.config.values():
@@ -587,17 +589,17 @@
     fleet.kill("m002")
     for _ in range(25):
         fleet.step()
-    assert fleet.placing.missing(fleet.view()) != []
+    assert fleet.placing.replication_problems(fleet.view()) != []
     fleet.back("m002", 1)
     fleet.settle()
-    assert fleet.config == before and fleet.placing.begun == 0
+    assert fleet.config == before and fleet.placing.move_count == 0
 
 
 def test_who_comes_back_too_late_is_no_member_until_it_is_evened_out() -> None:
     fleet = Groups(["a", "b", "a", "b", "a"])
     who = fleet.kill("m002")
     fleet.settle()
-    assert fleet.placing.holds(who) == []
+    assert fleet.placing.groups_of(who) == []
     fleet.back("m002", 1)
     fleet.step()
     assert len(fleet.placing.moves) == 1, "one at a time where nothing is broken"
@@ -613,7 +615,7 @@
     fleet.settle()
     assert all(set(config.voters) == {"m000/1", "m001/2", "m002/1"} for config in fleet.config.values())
     assert fleet.now < TIMES.repair_after_ms + 2000.0
-    again = fleet.placing.apply(0.0, EnrolMember(id="x", name="m001", who=old, hall="b"))
+    again = fleet.placing.apply(0.0, EnrolMember(id="x", name="m001", who=old, zone="b"))
     assert isinstance(again.error, StaleIncarnation)
 
 
@@ -666,10 +668,10 @@
         fleet.step()
     stuck = next(iter(fleet.placing.moves.values())).new
     fleet.behind = (stuck,)
-    while fleet.now < LONGEST_MOVE_MS + 10000.0:
+    while fleet.now < MAX_MOVE_DURATION_MS + 10000.0:
         fleet.step()
     assert not fleet.placing.moves and not any(stuck in config.learners for config in fleet.config.values())
-    assert fleet.placing.missing(fleet.view()) == []
+    assert fleet.placing.replication_problems(fleet.view()) == []
 
 
 def test_a_newcomer_that_was_lost_meanwhile_is_taken_again_when_it_is_back() -> None:
@@ -687,7 +689,7 @@
     fleet.back(name, 2)
     fleet.behind = ()
     fleet.settle(30.0)
-    assert fleet.placing.missing(fleet.view()) == []
+    assert fleet.placing.replication_problems(fleet.view()) == []
 
 
 @settings(max_examples=25, deadline=None, derandomize=True)
@@ -705,7 +707,7 @@
             fleet.step()
         fleet.back(name, int(old.partition("/")[2]) + (draw.random() < 0.5))
         fleet.settle(120.0)
-        assert fleet.placing.missing(fleet.view()) == [], round_
+        assert fleet.placing.replication_problems(fleet.view()) == [], round_
     assert fleet.most <= TIMES.repair_at_once
 
 
@@ -714,8 +716,8 @@
     before, voters = fleet.placing.dump(), fleet.config["g0"].voters
     other = next(who for who in fleet.alive.values() if who not in voters)
     for command in (
-        EnrolMember(id="1", name="m", who="n/1", hall="a"),
-        EnrolMember(id="1", name="m", who="m/", hall="a"),
+        EnrolMember(id="1", name="m", who="n/1", zone="a"),
+        EnrolMember(id="1", name="m", who="m/", zone="a"),
         ReplaceReplica(id="2", group="g0", lost="", new="", most=2),
         ReplaceReplica(id="2", group="nix", lost="", new="a/1", most=2),
         ReplaceReplica(id="3", group="g0", lost=other, new=voters[0], most=2),
@@ -746,15 +748,23 @@
 def test_a_group_is_forced_once_and_one_voter_at_a_time() -> None:
     base = Snapshot(7, 3, GroupConfiguration(("a/1", "b/1", "c/1"), ("d/1",)), b"")
     saved = PersistedGroup(4, "a/1", base, ())
-    made = forced(saved, "g0", "b/1", ("a/1", "c/1"), 1e12)
+    made = force_sole_voter(saved, "g0", "b/1", ("a/1", "c/1"), 1e12)
     log = RaftLog.load(made)
-    assert log.config == GroupConfiguration(("b/1",)) and made.term == 4 + FORCED_TERMS and made.vote == "b/1"
+    assert (
+        log.config == GroupConfiguration(("b/1",))
+        and made.term == 4 + FORCED_TERM_INCREMENT
+        and made.vote == "b/1"
+    )
     assert [entry.kind for entry in made.entries] == [CONFIG, CONFIG, NOTHING]
     sizes = [len(config.voters) for config in (log.config_at(at) for at in (7, 8, 9)) if config is not None]
     assert sizes == [3, 2, 1]
-    assert forced(made, "g0", "b/1", ("a/1", "c/1"), 1e12) == made, "again at the next start: nothing"
-    assert forced(saved, "g0", "d/1", ("a/1", "b/1", "c/1"), 1e12) == saved, "a learner promised nothing"
-    assert forced(saved, "g0", "b/1", ("a/1",), 1e12) == saved, "not all that stand there are named"
+    assert force_sole_voter(made, "g0", "b/1", ("a/1", "c/1"), 1e12) == made, (
+        "again at the next start: nothing"
+    )
+    assert force_sole_voter(saved, "g0", "d/1", ("a/1", "b/1", "c/1"), 1e12) == saved, (
+        "a learner promised nothing"
+    )
+    assert force_sole_voter(saved, "g0", "b/1", ("a/1",), 1e12) == saved, "not all that stand there are named"
 
 
 def test_the_suspect_is_told_first_and_refutes() -> None:
@@ -780,7 +790,7 @@
     me.handle(me.due - 1.0, MessageReceived("b/9", Ack(ping.message.seq + 1, "b/9", ())))
     assert me.ids()["b"] == "b/"
     me.handle(me.due - 1.0, MessageReceived("b/9", Ack(ping.message.seq, "b/9", ())))
-    assert me.ids()["b"] == "b/9" and me.alive() == {"a/1", "b/9"}
+    assert me.ids()["b"] == "b/9" and me.alive_ids() == {"a/1", "b/9"}
 
 
 def test_a_refutation_that_was_lost_is_told_again_whenever_somebody_still_believes_the_rumour() -> None:
@@ -804,7 +814,7 @@
         for name in "ab"
     }
     for me in made.values():
-        me.know(0.0, ["a/1", "b/1"])
+        me.learn_ids(0.0, ["a/1", "b/1"])
     for now in range(0, 60_000, 25):
         for who, me in made.items():
             for one in me.handle(float(now), Tick()) if me.due <= now else ():
@@ -814,4 +824,4 @@
                     for answer in made[other].handle(float(now), MessageReceived(who, one.message)):
                         if isinstance(answer, SendMessage):
                             me.handle(float(now), MessageReceived(other, answer.message))
-    assert made["a/2"].alive() == made["b/2"].alive() == {"a/2", "b/2"}
+    assert made["a/2"].alive_ids() == made["b/2"].alive_ids() == {"a/2", "b/2"}
--- a/tests/cluster/test_regressions.py
+++ b/tests/cluster/test_regressions.py
@@ -97,16 +97,16 @@
     TimeoutNow,
     member_name,
 )
-from badgeryoke.cluster.node import LATE_MS, ClusterNode, Member, NodeSetup
-from badgeryoke.cluster.node_setup import FOUNDING
+from badgeryoke.cluster.node import LAGGING_AFTER_MS, ClusterNode, Member, NodeSetup
+from badgeryoke.cluster.node_setup import BOOTSTRAP_GROUP
 from badgeryoke.cluster.placement.directory import (
     EnrolMember,
     GroupPlacement,
     PlacementDirectory,
     ReplaceReplica,
     ReplicaMoved,
-    copies_for,
-    group_of,
+    group_for_key,
+    replica_count,
 )
 from badgeryoke.cluster.raft.log import RaftLog, encode_config
 from badgeryoke.cluster.raft.node import MOST_BODY, MOST_HELD, MOST_SNAPSHOT, RaftNode, Role
@@ -137,7 +137,7 @@
 )
 from badgeryoke.cluster.rolling_restart.restart import RestartState as RollState
 from badgeryoke.cluster.state_machine import machine as fleet_state
-from badgeryoke.cluster.state_machine.machine import GroupStateMachine, decode, encode
+from badgeryoke.cluster.state_machine.machine import GroupStateMachine, decode_command, encode_command
 from badgeryoke.cluster.state_machine.part import FLEET, ApplyResult, Command, LeaderView
 from badgeryoke.cluster.timings import Timings
 from badgeryoke.gateway.cluster.admin_calls import read_call
@@ -465,11 +465,11 @@
         for one in node.handle(1.0, MessageReceived("a/1", ClusterFounded(msgspec.msgpack.encode(FOUNDED))))
     ] == [PersistRecords]
     assert node.handle(2.0, MessageReceived("c/1", IdentityQuery("x"))) == [] and node.record is None
-    node.handle(3.0, RecordsPersisted(FOUNDING, 1))
+    node.handle(3.0, RecordsPersisted(BOOTSTRAP_GROUP, 1))
     assert node.handle(4.0, MessageReceived("c/1", IdentityQuery("x"))) == [
         SendMessage("c/1", Announce("x", msgspec.msgpack.encode(FOUNDED)))
     ]
-    other = msgspec.msgpack.encode(msgspec.structs.replace(FOUNDED, founding="02"))
+    other = msgspec.msgpack.encode(msgspec.structs.replace(FOUNDED, bootstrap_id="02"))
     said = node.handle(5.0, MessageReceived("a/2", ClusterFounded(other)))
     assert [one.fields["error"] for one in said if isinstance(one, LogEvent)] == ["another-fleet"]
 
@@ -485,7 +485,7 @@
 
 def placing(halls: str = "aaaaa", groups: int = 2) -> PlacementDirectory:
     made = PlacementDirectory(Timings(), Invariants())
-    made.begin(
+    made.initialize(
         BootstrapRecord(
             "yard", "01", "m0/1", tuple((f"m{at}/1", hall) for at, hall in enumerate(halls)), groups, 3
         )
@@ -507,7 +507,7 @@
     alive = frozenset(who for who, _ in made.members.values())
     config = GroupConfiguration(made.groups["g0"].voters)
     acts = []
-    while (change := made.wanted("g0", config, (), alive)) is not None:
+    while (change := made.next_membership_change("g0", config, (), alive)) is not None:
         acts.append(change.act)
         config = {
             "learn": GroupConfiguration(config.voters, (new,)),
@@ -527,7 +527,7 @@
     held = sum(new in held.voters for held in made.groups.values())
     assert made._loads()[new] == held + 1
     name = member_name(new)
-    assert made.apply(0.0, EnrolMember(id="2", name=name, who=f"{name}/2", hall="a")).error is None
+    assert made.apply(0.0, EnrolMember(id="2", name=name, who=f"{name}/2", zone="a")).error is None
     assert not made.moves
 
 
@@ -546,12 +546,17 @@
         {},
         {},
     )
-    assert made.missing(view) == [] and not made._long(view, 0.0)
+    assert made.replication_problems(view) == [] and not made._long(view, 0.0)
     voters = made.groups["g1"].voters
-    assert made.missing(replace(view, behind={"g1": voters[:1]}))
+    assert made.replication_problems(replace(view, behind={"g1": voters[:1]}))
     made.apply(0.0, ReplicaMoved(id="1", group="g1", voters=voters, number=1, behind=voters[1:2]))
-    assert made.missing(view)
-    assert [copies_for(most, members) for most, members in ((5, 4), (4, 9), (3, 2), (3, 1))] == [3, 3, 2, 1]
+    assert made.replication_problems(view)
+    assert [replica_count(most, members) for most, members in ((5, 4), (4, 9), (3, 2), (3, 1))] == [
+        3,
+        3,
+        2,
+        1,
+    ]
 
 
 # What a group's log is applied to
@@ -565,13 +570,13 @@
 def put(
     made: GroupStateMachine, index: int, id_: str, name: str, value: str, at_ms: float = 1.0
 ) -> ApplyResult:
-    return made.apply(0.0, index, encode(at_ms, key_value.PutValue(id=id_, name=name, value=value)))
+    return made.apply(0.0, index, encode_command(at_ms, key_value.PutValue(id=id_, name=name, value=value)))
 
 
 def test_ids_answers_and_time_outlive_a_snapshot_and_the_oldest_id_goes_first(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(fleet_state, "MOST_IDS", 3)
+    monkeypatch.setattr(fleet_state, "MAX_REMEMBERED_IDS", 3)
     made, other = state(), state()
     for number in range(4):
         assert put(made, number + 1, f"o{number}", "n", f"v{number}", 5000.0 - number).error is None
@@ -602,12 +607,12 @@
         id="1", tenant="t", contract="c", holder="a/1", number=0, keep=0.0, wish=9.0, room=0.0
     )
     for index, command in enumerate((opened, asked), 1):
-        made.apply(700.0, index, encode(1.0, command))
+        made.apply(700.0, index, encode_command(1.0, command))
     assert [one.seen for one in made.parts["floors"].held["c"].parts.held.values()] == [700.0]
 
 
 def test_names_are_bounded_and_a_known_one_goes_on(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(key_value, "MOST_BYTES", key_value.LEAST_BYTES)
+    monkeypatch.setattr(key_value, "MAX_BYTES", key_value.MIN_ENTRY_BYTES)
     made = state()
     assert put(made, 1, "1", "n", "v").value is None
     assert isinstance(put(made, 2, "2", "other", "v").error, Overloaded)
@@ -676,8 +681,8 @@
     """a/1 of a fleet that is founded, at 0 by both its clocks."""
     record = BootstrapRecord("yard", "01", "a/1", tuple((f"{name}/1", "x") for name in names), 2, 3)
     saved = PersistedGroup(snapshot=Snapshot(1, 1, GroupConfiguration(()), msgspec.msgpack.encode(record)))
-    setup = NodeSetup("yard", "a", "1", tuple(Member(name, "x") for name in names), groups=2)
-    return ClusterNode(setup, {FOUNDING: saved}, Random(draw), 0.0, 1e12, Invariants(strict))
+    setup = NodeSetup("yard", "a", "1", tuple(Member(name, "x") for name in names), group_count=2)
+    return ClusterNode(setup, {BOOTSTRAP_GROUP: saved}, Random(draw), 0.0, 1e12, Invariants(strict))
 
 
 def told(effects: list[Any]) -> list[Any]:
@@ -691,7 +696,7 @@
         for one in effects
         if isinstance(one, SendMessage)
         and isinstance(one.message, ForwardedCall)
-        and isinstance(decode(one.message.body)[1], key_value.PutValue)
+        and isinstance(decode_command(one.message.body)[1], key_value.PutValue)
     ]
 
 
@@ -771,7 +776,7 @@
     assert not made._timed
     for who, wall in (("b/1", 1e12 + 3_600_000.0), ("c/1", 1e12 + 5.0), ("d/1", 1e12 + 9.0)):
         made.handle(1.0, 1e12, MessageReceived(who, Ping(1, "a/1", (), wall)))
-    assert made._timed and 0.0 <= made.ahead <= 9.0
+    assert made._timed and 0.0 <= made.clock_offset_ms <= 9.0
 
 
 def alone_and_leading(strict: bool) -> ClusterNode:
@@ -797,7 +802,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     made = alone_and_leading(False)
-    at = group_of("p:n", 2)
+    at = group_for_key("p:n", 2)
 
     def breaks(self: Any, at_ms: float, command: Any) -> ApplyResult:
         made.rules.check(Rule.ID_ONCE, False, lambda: "planted")
@@ -832,7 +837,7 @@
     )
     made._places.groups["g0"] = GroupPlacement(("a/1", "b/1"))
     assert made._members(1.0, 1e12, "g0", stub) == []
-    assert made._late(1.0, "g0", stub) == () and made._late(LATE_MS + 2.0, "g0", stub) == ("b/1",)
+    assert made._late(1.0, "g0", stub) == () and made._late(LAGGING_AFTER_MS + 2.0, "g0", stub) == ("b/1",)
 
 
 class Yard(FleetWorld):
@@ -857,7 +862,7 @@
 
 def test_a_read_is_answered_only_by_who_has_asked_a_majority() -> None:
     world, got = Yard(), list[Any]()
-    leader = world.leads(group_of("p:n", 8))
+    leader = world.leads(group_for_key("p:n", 8))
     rest = [name for name in world.machines if name != leader.name]
     world.network.cut(
         [(one, other) for name in rest for one, other in ((leader.name, name), (name, leader.name))]
@@ -875,7 +880,7 @@
         world._give(leader.name, leader.life, [LeaveCluster("l")])
     else:
         assert leader.node is not None
-        leader.node.lead_nothing = True
+        leader.node.avoid_leadership = True
     world.go(400.0)  # less than an election takes
     assert leader.node is not None and not any(replica.leading for replica in leader.node.replicas.values())
     assert world.leads(FLEET) is not leader
@@ -885,7 +890,7 @@
     world = Yard(wrong_ms=3_600_000.0)
     for machine in world.machines.values():
         assert machine.node is not None
-        assert all(state.at_ms < UNIX_MS + 10_000.0 for state in machine.node.states.values())
+        assert all(state.at_ms < UNIX_MS + 10_000.0 for state in machine.node.state_machines.values())
 
 
 def test_a_roll_sees_what_contracts_take() -> None:
@@ -1076,13 +1081,13 @@
     made = rolling(at_once=3)
     given: dict[str, Any] = {
         "alive": frozenset({"a/1", "b/1", "c/1", "d/1"}),
-        "halls": {"a": "x", "b": "y", "c": "y", "d": "y"},
+        "zones": {"a": "x", "b": "y", "c": "y", "d": "y"},
         "load": {},
         "behind": {},
         "groups": {"g0": ("b/1", "c/1", "d/1")},
         **more,
     }
-    view = LeaderView(now=0.0, wall=0.0, me="d/1", lead_since=0.0, timings=Timings(), dead_for={}, **given)
+    view = LeaderView(now=0.0, wall=0.0, me="d/1", lead_since=0.0, timings=Timings(), dead_for_ms={}, **given)
     return made.count(view, made.rolls["r"], wave)
 
 
@@ -1101,9 +1106,9 @@
     given: dict[str, Any] = {
         "alive": frozenset({"a/1", "b/1", "c/1", "d/1"}),
         "behind": {},
-        "halls": dict.fromkeys("abcd", "x"),
+        "zones": dict.fromkeys("abcd", "x"),
         "groups": {"g0": ("b/1", "c/1", "d/1")},
-        "dead_for": {},
+        "dead_for_ms": {},
         **more,
     }
     return made.leader_tasks(
@@ -1134,7 +1139,7 @@
     made = rolling()
     assert wave(made, "b").error is None
     alive = frozenset({"a/1", "c/1", "d/1"})
-    assert [one.why for one in looked(made, 2.0, alive=alive, dead_for={"b/1": 0.0})] == [
+    assert [one.why for one in looked(made, 2.0, alive=alive, dead_for_ms={"b/1": 0.0})] == [
         "b is dead while granting"
     ]  # at once; who left in order is not dead
     assert looked(made, 2.0, alive=alive) == []
@@ -1633,7 +1638,7 @@
         "terms": {**TERMS, "customers": [1 << 64], "windows": [{"from_ms": 1, "to_ms": 2}]},
     }
     read = read_call(json.dumps(given).encode())
-    assert isinstance(read, InvalidCall) or (isinstance(read, Command) and encode(0.0, read))
+    assert isinstance(read, InvalidCall) or (isinstance(read, Command) and encode_command(0.0, read))
 
 
 def test_a_window_that_recurs_without_end_is_a_bad_call() -> None:
@@ -1661,7 +1666,7 @@
     world.call(leader.name, SetCapacity(id="2", units=1000.0, reserve=0.0, floor=0.0), lambda result: None)
     world.calendar.run(world.calendar.now + 3000.0)
     assert leader.node is not None
-    taken = "c" in leader.node.states[FLEET].parts["contracts"].held
+    taken = "c" in leader.node.state_machines[FLEET].parts["contracts"].held
     refused = isinstance(got[0], ApplyResult) and isinstance(got[0].error, InsufficientCapacity)
     assert not (taken and refused), f"{got[0]}, and the contract is held"
 
@@ -1669,7 +1674,7 @@
 def wide_promise(number: int, id_: str = "") -> key_value.PutValue:
     wide = "\U0001f600"
     return key_value.PutValue(
-        id=id_ or f"{number:0128}", name=wide * 120 + f"{number:08}", value=wide * key_value.MOST_VALUE
+        id=id_ or f"{number:0128}", name=wide * 120 + f"{number:08}", value=wide * key_value.MAX_VALUE_LENGTH
     )
 
 
@@ -1705,14 +1710,17 @@
     for make, most in ((wide_batch, 1024), (wide_promise, 8192)):
         for number in range(most + 1):
             index += 1
-            got = made.apply(0.0, index, encode(0.0, make(number)))
+            got = made.apply(0.0, index, encode_command(0.0, make(number)))
             if refused := refused + isinstance(got.error, Overloaded):
                 break
         assert refused
     for number in range(2200):
         index += 1
-        assert made.apply(0.0, index, encode(0.0, wide_promise(number % 100, f"again{number}"))).error is None
-    assert len(made.dump()) + fleet_state.MOST_IDS * 4 * 128 < MOST_SNAPSHOT * 7 / 8
+        assert (
+            made.apply(0.0, index, encode_command(0.0, wide_promise(number % 100, f"again{number}"))).error
+            is None
+        )
+    assert len(made.dump()) + fleet_state.MAX_REMEMBERED_IDS * 4 * 128 < MOST_SNAPSHOT * 7 / 8
 
 
 def test_remembered_answers_are_bounded_in_bytes_and_all_copies_forget_the_same(
@@ -1723,7 +1731,7 @@
     made, taken, older, later = state(), state(), state(), state()
 
     def call(number: int) -> bytes:
-        return encode(
+        return encode_command(
             0.0, key_value.PutValue(id=f"p{number}", name="n", value="v" * (300 + 97 * number % 400))
         )
 
@@ -1736,9 +1744,9 @@
             (made, 4096),
             *(((older, 1 << 30),) if number < 20 else ((taken, 4096), (later, 4096))),
         ):
-            monkeypatch.setattr(fleet_state, "MOST_ANSWERS", most)
+            monkeypatch.setattr(fleet_state, "MAX_REMEMBERED_ANSWER_BYTES", most)
             one.apply(0.0, number + 1, call(number))
-        monkeypatch.setattr(fleet_state, "MOST_ANSWERS", 4096)
+        monkeypatch.setattr(fleet_state, "MAX_REMEMBERED_ANSWER_BYTES", 4096)
     assert sum(len(answer) for _, answer in made._ids.values()) <= 4096
     assert 4 < len(made._ids) < 14 and "p39" in made._ids and taken.dump() == later.dump() == made.dump()
 
@@ -1747,14 +1755,14 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Else it could be claimed, and told to the counter, twice."""
-    monkeypatch.setattr(fleet_state, "MOST_IDS", 1)
+    monkeypatch.setattr(fleet_state, "MAX_REMEMBERED_IDS", 1)
     made = state()
-    made.apply(0.0, 1, encode(0.0, narrow_batch(1)))
+    made.apply(0.0, 1, encode_command(0.0, narrow_batch(1)))
     claim = unreported_usage.ClaimUsage(id="c", tenant="t", batch=narrow_batch(1).id, by="b/1")
-    made.apply(0.0, 2, encode(0.0, claim))
-    assert made.apply(0.0, 3, encode(0.0, narrow_batch(1))).value is True
+    made.apply(0.0, 2, encode_command(0.0, claim))
+    assert made.apply(0.0, 3, encode_command(0.0, narrow_batch(1))).value is True
     other = unreported_usage.ClaimUsage(id="d", tenant="t", batch=claim.batch, by="c/1")
-    assert isinstance(made.apply(0.0, 4, encode(0.0, other)).error, WrongState)
+    assert isinstance(made.apply(0.0, 4, encode_command(0.0, other)).error, WrongState)
 
 
 def beats(replica: RaftNode, other: RaftNode, first: float, count: int) -> tuple[list[Effect], int]:
@@ -1871,7 +1879,7 @@
 @pytest.mark.parametrize(
     ("part", "make", "most"),
     [
-        (key_value.KeyValueStore, wide_promise, key_value.MOST_BYTES),
+        (key_value.KeyValueStore, wide_promise, key_value.MAX_BYTES),
         (unreported_usage.UnreportedUsage, wide_batch, unreported_usage.MOST_BYTES),
         (unreported_usage.UnreportedUsage, narrow_batch, unreported_usage.MOST_BYTES),
     ],
@@ -1928,4 +1936,4 @@
         Invariants(),
     )
     node.handle(1.0, 1e12, MessageReceived("b/1", Ping(1, "a/1", (), 1e12 + 3_600_000.0)))
-    assert not node._timed or node.ahead < 1000.0
+    assert not node._timed or node.clock_offset_ms < 1000.0
--- a/tests/cluster/test_rolling_restart.py
+++ b/tests/cluster/test_rolling_restart.py
@@ -58,8 +58,8 @@
     given: dict[str, Any] = {
         "me": "g0/1",
         "alive": frozenset(),
-        "dead_for": {},
-        "halls": {},
+        "dead_for_ms": {},
+        "zones": {},
         "load": {},
         "groups": {},
         "behind": {},
@@ -528,8 +528,8 @@
             0.0,
             me=f"{NAMES[self.leader]}/1",
             alive=alive,
-            dead_for=dead,
-            halls=HALLS,
+            dead_for_ms=dead,
+            zones=HALLS,
             load=self.load,
             groups=GROUPS,
             behind=behind,
@@ -881,14 +881,14 @@
         (("g0/1", "g1/1", "g2/2"), "copies not whole: 1 missing"),
     ):
         seen = view(
-            0.0, 0.0, alive=frozenset(here), halls=dict.fromkeys(("g0", "g1", "g2"), "h"), groups=groups
+            0.0, 0.0, alive=frozenset(here), zones=dict.fromkeys(("g0", "g1", "g2"), "h"), groups=groups
         )
         found = RollingRestarts(Invariants()).count(seen, roll, ["g0"]).validate()
         assert (found and found[1]) == fault
     # One that loses its disk while it is turning clients away has no copies to leave behind; one that has
     # left has.
     lost = view(
-        0.0, 0.0, alive=frozenset(("g0/2", "g1/1", "g2/1")), halls={"g0": "h", "g1": "h"}, groups=groups
+        0.0, 0.0, alive=frozenset(("g0/2", "g1/1", "g2/1")), zones={"g0": "h", "g1": "h"}, groups=groups
     )
     for stand, missing in ((GatewayPhase.EMPTYING, 1), (GatewayPhase.ACTING, 0)):
         roll.gateways["g0"].stand = stand
@@ -910,7 +910,7 @@
         0.0,
         0.0,
         alive=frozenset(("g0/1", "g1/1", "g2/1")),
-        halls=dict.fromkeys(("g0", "g1", "g2"), "h"),
+        zones=dict.fromkeys(("g0", "g1", "g2"), "h"),
         groups={"G": ("g0/1", "g1/1", "g2/1")},
     )
     stale = msgspec.structs.replace(rolls.leader_tasks(seen)[0], gateway="g1")
--- a/tests/decisions/test_priority_admission.py
+++ b/tests/decisions/test_priority_admission.py
@@ -371,7 +371,7 @@
         assert (
             isinstance(made.node, ClusterNode)
             and told == [made.floor, made.now]
-            and made.floor in made.node.holders
+            and made.floor in made.node.lease_clients
         )
         made.close()
 
--- a/tests/gateway/cluster/test_connection_leases.py
+++ b/tests/gateway/cluster/test_connection_leases.py
@@ -374,7 +374,7 @@
             assert a.open == 1  # idle, and kept
             stands("GRANTING", told="ready")
             await soon(lambda: a.open == 0 and a.pools.empty)
-            assert a.node.lead_nothing and not a.did
+            assert a.node.avoid_leadership and not a.did
             stands("PAUSING", told="paused")
             await soon(lambda: a.did == ["pause"])
             a.drained = True
@@ -383,7 +383,7 @@
             await soon(lambda: len(a.ends) == 2 and a.pools.empty)
             assert a.ends[1].verdict.name == "OK"
             stands("UNDOING", told="resumed")
-            await soon(lambda: a.did == ["pause", "resume"] and not a.node.lead_nothing)
+            await soon(lambda: a.did == ["pause", "resume"] and not a.node.avoid_leadership)
             stands("ACTING", told="x")
             await soon(lambda: a.did == ["pause", "resume", "pause", "end"])
 
@@ -396,8 +396,8 @@
         gate = Gate("A", 1, group)
         gate.pools.begin(gate.node, gate.rules)
         gate.pools.close()  # no look but this test's
-        gate.node.states["g0"] = SimpleNamespace(parts={"connections": group.part}, index=1)  # type: ignore[assignment]
-        gate.node.states[FLEET] = GroupStateMachine(FLEET, TIMINGS, gate.rules)  # it holds no limits
+        gate.node.state_machines["g0"] = SimpleNamespace(parts={"connections": group.part}, index=1)  # type: ignore[assignment]
+        gate.node.state_machines[FLEET] = GroupStateMachine(FLEET, TIMINGS, gate.rules)  # it holds no limits
         gate.node.replicas["g0"] = gate.node.replicas[FLEET] = SimpleNamespace(leading=True)  # type: ignore[assignment]
         for server in ("gone", "used"):
             group.part.apply(0.0, SetConnectionLimit(id=server, server=server, most=MOST, idle_ms=IDLE_MS))
--- a/tests/gateway/cluster/test_service.py
+++ b/tests/gateway/cluster/test_service.py
@@ -78,9 +78,13 @@
         )
     ).fleet
     made = setup_of(fleet, "gw", "x1")
-    assert (made.id, made.copies, made.timings.lease_ms) == ("b/x1", 3, 4000.0)
-    assert made.servers == {"*": 24, "s1": 8} and [one.name for one in made.members] == ["a", "b", "c"]
-    assert setup_of(msgspec.structs.replace(fleet, me=""), "c", "x1").me == "c"
+    assert (made.member_id, made.replication_factor, made.timings.lease_ms) == ("b/x1", 3, 4000.0)
+    assert made.connection_limits == {"*": 24, "s1": 8} and [one.name for one in made.members] == [
+        "a",
+        "b",
+        "c",
+    ]
+    assert setup_of(msgspec.structs.replace(fleet, me=""), "c", "x1").member_name == "c"
 
 
 @pytest.mark.parametrize(
@@ -160,11 +164,11 @@
     )
     assert rows == [
         (one.code, " ".join((one.__doc__ or "").split()).rstrip("."), one.do, "yes" if one.retry else "no")
-        for one in errors.ALL
+        for one in errors.ALL_ERRORS
     ]
-    assert all(one.code and one.do for one in errors.ALL)
+    assert all(one.code and one.do for one in errors.ALL_ERRORS)
     assert sorted(one.code for one in errors.ClusterError.__subclasses__()) == sorted(
-        one.code for one in errors.ALL
+        one.code for one in errors.ALL_ERRORS
     )
 
 
@@ -194,7 +198,7 @@
 )
 def test_a_bad_call_names_its_key(raw: bytes, whom: str, what: str) -> None:
     read = read_call(raw)
-    assert isinstance(read, errors.InvalidCall) and read.whom == whom and what in read.what
+    assert isinstance(read, errors.InvalidCall) and read.subject == whom and what in read.detail
     said = json.loads(line_of(read).removeprefix(b"-ERR "))
     assert said["error"] == "bad-call" and said["do"] == errors.InvalidCall.do and said["whom"] == whom
 
@@ -218,7 +222,7 @@
     """In the node's place: notes events, and does what a test lays out."""
 
     def __init__(self, *told: Any) -> None:
-        self.holders: list[Any] = []
+        self.lease_clients: list[Any] = []
         self.setup, self.saved, _, self.began, _, self.rules = told
         self.events: list[Any] = []
         self.due = math.inf
@@ -279,7 +283,7 @@
 def test_events_go_in_and_effects_are_carried_out(tmp_path: Path, caplog: pytest.LogCaptureFixture) -> None:
     async def test() -> None:
         async with begun(tmp_path) as (made, node):
-            assert isinstance(node.events[0], Tick) and node.setup.id == f"a/{node.setup.incarnation}"
+            assert isinstance(node.events[0], Tick) and node.setup.member_id == f"a/{node.setup.incarnation}"
 
             def does(event: Any) -> list[Any]:
                 if isinstance(event, ClusterCall):
@@ -383,7 +387,7 @@
             node.does = way(node)
             assert isinstance(await made.call(PutValue(id="1", name="n", value="v")), errors.UnknownOutcome)
             after = await made.call(PutValue(id="1", name="n", value="v"))
-            assert isinstance(after, errors.InvariantBroken) and word in after.what
+            assert isinstance(after, errors.InvariantBroken) and word in after.detail
             events = len(node.events)
             made._feed(Tick())
             assert len(node.events) == events
--- a/tests/gateway/cluster/test_storage.py
+++ b/tests/gateway/cluster/test_storage.py
@@ -204,7 +204,7 @@
     torn.close()
     cut_at(tmp_path / "flipped", before + 900)  # acknowledged, and gone
     gone = opened(tmp_path / "flipped", word="2")
-    assert gone.incarnation == "2" and "acknowledged" in gone.faults[0].what
+    assert gone.incarnation == "2" and "acknowledged" in gone.faults[0].detail
     gone.close()
 
 
@@ -224,7 +224,7 @@
     wal.write_bytes(raw)
     (tmp_path / "dead" / TOLD).write_bytes(told)
     back = opened(tmp_path / "dead", word="2")
-    assert back.incarnation == "2" and "transactions lie behind" in back.faults[0].what
+    assert back.incarnation == "2" and "transactions lie behind" in back.faults[0].detail
     back.close()
 
 
@@ -246,7 +246,7 @@
 
 def test_one_folder_one_process_one_member_one_fleet(disk: ClusterStorage) -> None:
     held = open_store(disk.folder, "f", "a")
-    assert isinstance(held, errors.StorageFailed) and "another process" in held.what
+    assert isinstance(held, errors.StorageFailed) and "another process" in held.detail
     disk.close()
     for fleet, member in (("other", "a"), ("f", "b")):
         assert isinstance(open_store(disk.folder, fleet, member), errors.ClusterMismatch)
@@ -255,7 +255,7 @@
     back.close()
     (disk.folder / NAME).rename(disk.folder / "store-99.db")
     later = open_store(disk.folder, "f", "a")
-    assert isinstance(later, errors.StorageFailed) and "store-99.db" in later.what
+    assert isinstance(later, errors.StorageFailed) and "store-99.db" in later.detail
 
 
 def test_a_folder_that_cannot_be_made_is_an_error(tmp_path: Path) -> None:
@@ -327,7 +327,7 @@
         for n in range(1, 100):
             told.writer.put([PersistRecords("g", n, (entries(n, n, size=4000),))])
             await told.until(n)
-        assert [type(one) for one in told.broke] == [errors.StorageFailed] and "full" in told.broke[0].what
+        assert [type(one) for one in told.broke] == [errors.StorageFailed] and "full" in told.broke[0].detail
         told.writer.put([PersistRecords("g", 100, (HardState(1, ""),))])
         told.writer.end(10)
         assert len(told.broke) == 1
--- a/tests/support/cluster_digest.py
+++ b/tests/support/cluster_digest.py
@@ -39,8 +39,8 @@
     LogEntry,
 )
 from badgeryoke.cluster.node import ClusterNode
-from badgeryoke.cluster.node_setup import FOUNDING
-from badgeryoke.cluster.state_machine.machine import GroupStateMachine, decode
+from badgeryoke.cluster.node_setup import BOOTSTRAP_GROUP
+from badgeryoke.cluster.state_machine.machine import GroupStateMachine, decode_command
 from badgeryoke.cluster.state_machine.part import ApplyResult, Command
 from tests.support.canonical import Digest
 from tests.support.paths import ROOT
@@ -75,7 +75,7 @@
 def body_values(body: bytes) -> object:
     """An entry's or a call's body."""
     try:
-        at_ms, command = decode(body)
+        at_ms, command = decode_command(body)
     except msgspec.DecodeError:
         return body
     return at_ms, command_values(command)
@@ -101,7 +101,7 @@
     if isinstance(record, Entries):
         return [entry_values(entry) for entry in record.entries]
     if isinstance(record, Snapshot):
-        body = record.body if group == FOUNDING else state_values(record.body)
+        body = record.body if group == BOOTSTRAP_GROUP else state_values(record.body)
         return record.index, record.term, record.config, body
     return record
 
--- a/tests/support/cluster_history.py
+++ b/tests/support/cluster_history.py
@@ -12,12 +12,12 @@
 from badgeryoke.cluster.invariants import Invariants
 from badgeryoke.cluster.messages import COMMAND, NOTHING, LogEntry
 from badgeryoke.cluster.messages import CONFIG as CHANGE
-from badgeryoke.cluster.node_setup import FOUNDING as FOUNDING_GROUP
+from badgeryoke.cluster.node_setup import BOOTSTRAP_GROUP as FOUNDING_GROUP
 from badgeryoke.cluster.placement import directory
 from badgeryoke.cluster.raft.log import encode_config
 from badgeryoke.cluster.reservations import contract
 from badgeryoke.cluster.rolling_restart import restart
-from badgeryoke.cluster.state_machine.machine import GroupStateMachine, encode
+from badgeryoke.cluster.state_machine.machine import GroupStateMachine, encode_command
 from badgeryoke.cluster.state_machine.part import FLEET, ApplyResult, Command
 from badgeryoke.cluster.timings import Timings
 from badgeryoke.gateway.cluster.storage import ClusterStorage, open_store
@@ -43,7 +43,7 @@
 )
 
 FLEET_HISTORY: tuple[tuple[float, Command], ...] = (
-    (0.0, directory.EnrolMember(id="e1", name="d", who="d/4", hall="west")),
+    (0.0, directory.EnrolMember(id="e1", name="d", who="d/4", zone="west")),
     (
         1.0,
         contract.SetCapacity(
@@ -55,7 +55,7 @@
     (4.0, contract.VersionDrained(id="c4", contract=CONTRACT, version=1)),
     (5.0, contract.VersionDrained(id="c5", contract="nightly", version=2)),
     (6.0, contract.ProposeContract(id="c6", contract="huge", terms=msgspec.structs.replace(TERMS, rate=1e6))),
-    (7.0, directory.EnrolMember(id="e2", name="b", who="b/5", hall="west")),
+    (7.0, directory.EnrolMember(id="e2", name="b", who="b/5", zone="west")),
     (8.0, directory.ReplaceReplica(id="e3", group="g1", lost="b/2", new="d/4", most=2)),
     (
         9.0,
@@ -215,7 +215,7 @@
     """A group as it is before its first entry."""
     state = GroupStateMachine(group, Timings(), Invariants(strict=True))
     if group == FLEET:
-        state.parts["placing"].begin(FOUNDING)
+        state.parts["placing"].initialize(FOUNDING)
     return state
 
 
@@ -225,7 +225,10 @@
     for index, (after_ms, command) in enumerate(HISTORIES[group], 2):
         made.append(
             LogEntry(
-                index=index, term=2 + index // 8, kind=COMMAND, body=encode(START_MS + after_ms, command)
+                index=index,
+                term=2 + index // 8,
+                kind=COMMAND,
+                body=encode_command(START_MS + after_ms, command),
             )
         )
     return tuple(made)
--- a/tests/support/cluster_samples.py
+++ b/tests/support/cluster_samples.py
@@ -15,7 +15,7 @@
 from badgeryoke.cluster.raft.log import encode_config
 from badgeryoke.cluster.reservations import contract
 from badgeryoke.cluster.rolling_restart import restart
-from badgeryoke.cluster.state_machine.machine import decode, encode
+from badgeryoke.cluster.state_machine.machine import decode_command, encode_command
 from badgeryoke.cluster.state_machine.part import ApplyResult, Command
 from badgeryoke.gateway.cluster.transport import frame, read
 
@@ -45,12 +45,12 @@
     messages.GossipUpdate(who="d/4", state=3, count=2, by="b/2"),
 )
 FOUNDING = BootstrapRecord(
-    fleet=CLUSTER,
-    founding="5ca1ab1e",
-    by="a/1",
+    cluster_name=CLUSTER,
+    bootstrap_id="5ca1ab1e",
+    created_by="a/1",
     members=(("a/1", "east"), ("b/2", "west"), ("c/3", "east")),
-    groups=2,
-    copies=3,
+    group_count=2,
+    replication_factor=3,
 )
 
 MESSAGES: tuple[tuple[str, messages.AnyMessage], ...] = (
@@ -119,7 +119,7 @@
 COMMANDS: tuple[tuple[str, Command], ...] = (
     ("promise", key_value.PutValue(id="p1", name="payday", value="armed")),
     ("promise-read", key_value.ReadValue(id="p2", name="payday")),
-    ("enrol", directory.EnrolMember(id="e1", name="d", who="d/4", hall="east")),
+    ("enrol", directory.EnrolMember(id="e1", name="d", who="d/4", zone="east")),
     ("replace", directory.ReplaceReplica(id="e2", group="g1", lost="b/2", new="d/4", most=2)),
     (
         "moved",
@@ -316,7 +316,7 @@
 
 def _entry(name: str, command: Command) -> Case:
     """A command as a log's entry holds it."""
-    return Case(f"command/{name}", (START_MS, command), lambda given: encode(*given), decode)
+    return Case(f"command/{name}", (START_MS, command), lambda given: encode_command(*given), decode_command)
 
 
 CASES: tuple[Case, ...] = (
@@ -338,8 +338,9 @@
     _plain("terms", TERMS),
     _plain("roll-facts", FACTS),
     _plain("owed-line", OWED[0]),
-    _plain("copy-on-its-way", directory.ReplicaMove(lost="b/2", new="d/4", since=START_MS)),
+    _plain("copy-on-its-way", directory.ReplicaMove(lost="b/2", new="d/4", started_at_ms=START_MS)),
     _plain(
-        "placed-group", directory.GroupPlacement(voters=("a/1", "b/2"), number=5, behind=("b/2",), reports=3)
+        "placed-group",
+        directory.GroupPlacement(voters=("a/1", "b/2"), config_index=5, lagging=("b/2",), report_count=3),
     ),
 )
--- a/tests/testbed/test_planted_faults.py
+++ b/tests/testbed/test_planted_faults.py
@@ -181,7 +181,7 @@
     """A snapshot leaves one promise out."""
     from badgeryoke.cluster.key_value import KeyValueStore
 
-    patch.setattr(KeyValueStore, "dump", lambda self: dict(list(self._kept.items())[1:]))
+    patch.setattr(KeyValueStore, "dump", lambda self: dict(list(self._values.items())[1:]))
 
 
 FEW = {"copies": 3, "groups": 2, "keys": 3, "proposals": 60.0}
