Split membership into table, gossip queue, failure detector and update rules

Change: a module each, in SWIM's and Lifeguard's terms; member states are an IntEnum with the numbers of the wire, statuses a StrEnum with the texts of before; messages are dispatched by match. Behaviour is unchanged: order of draws, of effects and of updates.

--- a/badgeryoke/cluster/node.py
+++ b/badgeryoke/cluster/node.py
@@ -184,7 +184,7 @@
         record = self.bootstrap.record
         assert record is not None
         self._placed = self._first = initial_placement(record)
-        self.membership.learn_ids(now, (who for who, _ in record.members))
+        self.membership.learn_ids((who for who, _ in record.members))
         for group, ids in self._placed.items():
             if group in self._saved or self.me in ids:
                 self._replica(now, group)
@@ -275,7 +275,7 @@
                 )
             case LeaveCluster(token=token):
                 self._leaving = token, now + 2 * self._timings.election_ms
-                effects += self._gossip(raw, self.membership.leave(now))
+                effects += self._gossip(raw, self.membership.leave())
                 for group, replica in self.replicas.items():
                     if replica.leading:
                         effects += self._feed(now, group, TransferLeadership())
@@ -667,7 +667,7 @@
             self._places = PlacementDirectory(self._timings, self.rules)
             self._places.load(result.value["state"])
             self._placed = self._places.voters()
-            self.membership.learn_ids(at, (who for who, _ in self._places.members.values()))
+            self.membership.learn_ids((who for who, _ in self._places.members.values()))
             effects: list[Effect] = []
             for group, replica in list(self.replicas.items()):
                 if replica.leading and group not in self._changing and self._leaving is None:
--- a/tests/cluster/test_behaviour_digests.py
+++ b/tests/cluster/test_behaviour_digests.py
@@ -478,7 +478,7 @@
     for name in names:
         net.start(name)
     for node in net.nodes.values():
-        node.learn_ids(net.now, net.ids.values())
+        node.learn_ids(net.ids.values())
     net.run(1500.0)
     for step in range(steps):
         trouble(net, draw, names)
@@ -495,7 +495,7 @@
             )
         if len(up) > 2 and draw.random() < 0.1:
             leaver = draw.choice(up)
-            net.carry(leaver, net.nodes[leaver].leave(net.now))
+            net.carry(leaver, net.nodes[leaver].leave())
             net.run(net.now + 100.0)
             net.stop(leaver)
     net.look()
--- a/tests/cluster/test_membership.py
+++ b/tests/cluster/test_membership.py
@@ -28,7 +28,8 @@
     Tick,
 )
 from badgeryoke.cluster.invariants import Invariants
-from badgeryoke.cluster.membership.protocol import LEFT_GRACE_MULTIPLE, Membership
+from badgeryoke.cluster.membership.member_table import LEFT_GRACE_MULTIPLE
+from badgeryoke.cluster.membership.protocol import Membership
 from badgeryoke.cluster.messages import (
     CONFIG,
     NOTHING,
@@ -189,7 +190,7 @@
     for one in net.members:
         net.start(one.name)
     for node in net.nodes.values():
-        node.learn_ids(net.now, net.ids.values())  # as from the founding record
+        node.learn_ids(net.ids.values())  # as from the founding record
     net.run(until)
     return net
 
@@ -318,7 +319,7 @@
 
 def test_leaving_is_no_loss_until_it_lasts() -> None:
     net = running(5, 9)
-    net.carry("m001", net.nodes["m001"].leave(net.now))
+    net.carry("m001", net.nodes["m001"].leave())
     net.stop("m001")
     net.run(10000.0)
     assert net.believed("m001") == {"left": 4} and net.buried() == set()
@@ -814,7 +815,7 @@
         for name in "ab"
     }
     for me in made.values():
-        me.learn_ids(0.0, ["a/1", "b/1"])
+        me.learn_ids(["a/1", "b/1"])
     for now in range(0, 60_000, 25):
         for who, me in made.items():
             for one in me.handle(float(now), Tick()) if me.due <= now else ():
--- a/tests/cluster/test_regressions.py
+++ b/tests/cluster/test_regressions.py
@@ -72,7 +72,8 @@
 )
 from badgeryoke.cluster.invariants import Invariants, InvariantViolation, Rule
 from badgeryoke.cluster.leases.lease_pool import MOST_GAP_MS, LeasePool
-from badgeryoke.cluster.membership.protocol import DEAD, SUSPECT, Membership
+from badgeryoke.cluster.membership.member_table import MemberState
+from badgeryoke.cluster.membership.protocol import Membership
 from badgeryoke.cluster.messages import (
     COMMAND,
     CONFIG,
@@ -432,10 +433,10 @@
     me = watcher()
     for who in ("c/1", "b/1", "b/2"):
         me.handle(10.0, MessageReceived(who, Ping(1, "a/1", ())))
-    out = me.handle(11.0, MessageReceived("b/1", Ping(2, "a/1", (GossipUpdate("c/1", DEAD, 0),))))
+    out = me.handle(11.0, MessageReceived("b/1", Ping(2, "a/1", (GossipUpdate("c/1", MemberState.DEAD, 0),))))
     assert not [one for one in out if isinstance(one, SendMessage)]
     assert me.ids()["b"] == "b/2" and me.state_of("c") == "alive"
-    me.handle(12.0, MessageReceived("b/2", Ping(3, "a/1", (GossipUpdate("c/1", DEAD, 0),))))
+    me.handle(12.0, MessageReceived("b/2", Ping(3, "a/1", (GossipUpdate("c/1", MemberState.DEAD, 0),))))
     assert me.state_of("c") == "dead"  # at the count that is known as well
 
 
@@ -443,15 +444,17 @@
     me = watcher()
     for who in ("b/1", "c/1"):
         me.handle(10.0, MessageReceived(who, Ping(1, "a/1", ())))
-    me.handle(11.0, MessageReceived("c/1", Ping(2, "a/1", (GossipUpdate("b/1", SUSPECT, 0, "c/1"),))))
-    me.health = 3
+    me.handle(
+        11.0, MessageReceived("c/1", Ping(2, "a/1", (GossipUpdate("b/1", MemberState.SUSPECTED, 0, "c/1"),)))
+    )
+    me.local_health.score = 3
     now = 11.0
     while now < 60_000.0:
         now = me.due
         for one in me.handle(now, Tick()):
             if isinstance(one, SendMessage) and isinstance(one.message, Ping) and one.to in ("b/1", "c/1"):
                 me.handle(now, MessageReceived(one.to, Ack(one.message.seq, one.to, ())))
-    assert me.state_of("b") == "suspected" and me.health == 0
+    assert me.state_of("b") == "suspected" and me.local_health.score == 0
 
 
 YARD = NodeSetup("yard", "b", "1", tuple(Member(name, "x") for name in "abc"))
