Split placement into hashing, commands, state, repair and changes of members

Cause: one module of 595 lines held hashing, the first placement, commands, the replicated state, the repair planner, what a group's leader does for a move, and the forced restart of a group.

Change: a module each; the planner names its steps (enrolment, cancellation, repair, rebalance) and gains are values with names in place of tuples. Stored forms, texts and the order of choices are unchanged.

Measured: behaviour digests, golden cluster, membership and regression tests: 510 passed.

--- a/badgeryoke/cluster/node.py
+++ b/badgeryoke/cluster/node.py
@@ -63,12 +63,10 @@
     member_name,
 )
 from badgeryoke.cluster.node_setup import BOOTSTRAP_GROUP, LeaseClient, Member, NodeSetup
-from badgeryoke.cluster.placement.directory import (
-    PlacementDirectory,
-    ReadPlacement,
-    group_for_key,
-    initial_placement,
-)
+from badgeryoke.cluster.placement.commands import ReadPlacement
+from badgeryoke.cluster.placement.directory import PlacementDirectory
+from badgeryoke.cluster.placement.initial_placement import initial_placement
+from badgeryoke.cluster.placement.rendezvous import group_for_key
 from badgeryoke.cluster.raft.node import RaftNode
 from badgeryoke.cluster.state_machine.machine import GroupStateMachine, decode_command, encode_command
 from badgeryoke.cluster.state_machine.part import FLEET, ApplyResult, Command, LeaderView
--- /dev/null
+++ b/badgeryoke/cluster/placement/state.py
@@ -0,0 +1,117 @@
+"""The replicated placement: enrolled members, voters of each group, and moves under way, with their queries."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import NamedTuple
+
+import msgspec
+
+from badgeryoke.cluster.messages import GroupConfiguration, MemberId, member_name
+from badgeryoke.cluster.placement.initial_placement import replica_count
+from badgeryoke.cluster.state_machine.part import LeaderView
+
+
+class EnrolledMember(NamedTuple):
+    """A name's present id and its zone; stored as a pair."""
+
+    id: MemberId
+    zone: str
+
+
+class ReplicaMove(msgspec.Struct, frozen=True, array_like=True):
+    """A move of one replica that is under way, and since when by the group's own time (Unix ms)."""
+
+    lost: MemberId
+    new: MemberId
+    started_at_ms: float = 0.0
+
+    def is_complete(self, voters: tuple[MemberId, ...]) -> bool:
+        """Whether these voters are the result of the move."""
+        return self.lost not in voters and (not self.new or self.new in voters)
+
+
+class GroupPlacement(msgspec.Struct, frozen=True, array_like=True):
+    """A group, as its leader last reported it."""
+
+    voters: tuple[MemberId, ...]
+    config_index: int = 0  # of the reported configuration, in the group's log
+    lagging: tuple[MemberId, ...] = ()  # voters that have not caught up
+    report_count: int = 0
+
+    def majority(self) -> int:
+        """Voters that the group needs to acknowledge anything."""
+        return GroupConfiguration(self.voters).majority()
+
+
+class PlacementState:
+    """Which member replicates which group; the same at every replica of the cluster's own group."""
+
+    def __init__(self) -> None:
+        self.replication_factor = 0  # as the bootstrap record asks for
+        self.members: dict[str, EnrolledMember] = {}  # by name
+        self.past_ids: dict[str, list[MemberId]] = {}  # by name: ids that are lost for good
+        self.groups: dict[str, GroupPlacement] = {}
+        self.moves: dict[str, ReplicaMove] = {}  # by group
+        self.move_count = 0  # moves ever begun
+        self.slow_learners: dict[MemberId, int] = {}  # `move_count` when each failed to catch up in time
+
+    def wanted_replicas(self) -> int:
+        """Replicas that each group should have."""
+        return replica_count(self.replication_factor, len(self.members))
+
+    def voters(self) -> dict[str, tuple[MemberId, ...]]:
+        """The voters of each group, as last reported."""
+        return {group: placement.voters for group, placement in self.groups.items()}
+
+    def groups_of(self, member: MemberId) -> list[str]:
+        """Groups that an id replicates, or is to replicate."""
+        return [
+            group
+            for group, placement in self.groups.items()
+            if member in placement.voters or (group in self.moves and self.moves[group].new == member)
+        ]
+
+    def is_present(self, member: MemberId) -> bool:
+        """Whether this id is its name's present one."""
+        known = self.members.get(member_name(member))
+        return known is not None and known.id == member
+
+    def zone_of(self, member: MemberId) -> str:
+        """The zone of an enrolled member's name; raises KeyError for another."""
+        return self.members[member_name(member)].zone
+
+    def replica_loads(self) -> Counter[MemberId]:
+        """Replicas at each member, with those on their way there."""
+        load = Counter(member for placement in self.groups.values() for member in placement.voters)
+        for group, move in self.moves.items():
+            if move.new and move.new not in self.groups[group].voters:
+                load[move.new] += 1
+        return load
+
+    def replication_problems(self, view: LeaderView) -> list[str]:
+        """What keeps groups from being fully replicated (`Rule.COPIES_WHOLE`), a line each.
+
+        Empty: every group has its replicas, all present, alive and caught up, and no move is under way.
+        """
+        lines = [
+            f"{group}: {move.new or 'nobody'} for {move.lost or 'nobody'} is under way"
+            for group, move in self.moves.items()
+        ]
+        for group, placement in self.groups.items():
+            lines += self._group_problems(group, placement, view)
+        return lines
+
+    def _group_problems(self, group: str, placement: GroupPlacement, view: LeaderView) -> list[str]:
+        lines: list[str] = []
+        wanted = self.wanted_replicas()
+        if len(placement.voters) != wanted:
+            lines.append(f"{group}: {len(placement.voters)} copies of {wanted}")
+        lines += [
+            f"{group}: {member} is lost"
+            for member in placement.voters
+            if not self.is_present(member) or member not in view.alive
+        ]
+        lagging = dict.fromkeys((*placement.lagging, *view.behind.get(group, ())))
+        lines += [f"{group}: {member} has not caught up" for member in lagging if member in placement.voters]
+        return lines
--- a/badgeryoke/cluster/state_machine/machine.py
+++ b/badgeryoke/cluster/state_machine/machine.py
@@ -17,6 +17,7 @@
 from badgeryoke.cluster import connection_limits, key_value, unreported_usage
 from badgeryoke.cluster.errors import DuplicateId, InvalidCall
 from badgeryoke.cluster.invariants import Invariants, Rule
+from badgeryoke.cluster.placement import commands as placement_commands
 from badgeryoke.cluster.placement import directory
 from badgeryoke.cluster.reservations import contract
 from badgeryoke.cluster.rolling_restart import restart
@@ -56,7 +57,7 @@
 
 REGISTRY = CommandRegistry()
 REGISTRY.register("promises", key_value.COMMANDS, lambda timings, rules: key_value.KeyValueStore(), False)
-REGISTRY.register("placing", directory.COMMANDS, directory.PlacementDirectory, True)
+REGISTRY.register("placing", placement_commands.COMMANDS, directory.PlacementDirectory, True)
 REGISTRY.register("contracts", contract.FLEET_COMMANDS, contract.ContractRegistry, True)
 REGISTRY.register("rolls", restart.COMMANDS, lambda timings, rules: restart.RollingRestarts(rules), True)
 REGISTRY.register("floors", contract.TENANT_COMMANDS, contract.GuaranteedRates, False)
--- a/badgeryoke/gateway/cluster/service.py
+++ b/badgeryoke/gateway/cluster/service.py
@@ -49,7 +49,7 @@
 from badgeryoke.cluster.invariants import Invariants, Rule
 from badgeryoke.cluster.messages import AnyMessage, MemberId
 from badgeryoke.cluster.node import ANY_SERVER, ClusterNode, Member, NodeSetup
-from badgeryoke.cluster.placement.directory import force_sole_voter
+from badgeryoke.cluster.placement.forced_recovery import force_sole_voter
 from badgeryoke.cluster.reservations.lease_client import ReservationClient
 from badgeryoke.cluster.state_machine.part import ApplyResult, Command
 from badgeryoke.gateway.cluster.admin_calls import STATUS, line_of, read_call
--- a/badgeryoke/testbed/cluster_simulation/world.py
+++ b/badgeryoke/testbed/cluster_simulation/world.py
@@ -45,7 +45,7 @@
     member_name,
 )
 from badgeryoke.cluster.node import BOOTSTRAP_GROUP, ClusterNode, LeaseClient, Member, NodeSetup
-from badgeryoke.cluster.placement.directory import group_for_key
+from badgeryoke.cluster.placement.rendezvous import group_for_key
 from badgeryoke.cluster.state_machine.part import ApplyResult, Command
 from badgeryoke.cluster.timings import Timings
 from badgeryoke.testbed.checkers.history_checker import Finding, Op, Verdict, judge
--- a/badgeryoke/testbed/emulator/cluster.py
+++ b/badgeryoke/testbed/emulator/cluster.py
@@ -15,7 +15,8 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-from badgeryoke.cluster.placement.directory import group_for_key, replica_count
+from badgeryoke.cluster.placement.initial_placement import replica_count
+from badgeryoke.cluster.placement.rendezvous import group_for_key
 from badgeryoke.cluster.rolling_restart.restart import least_ms
 from badgeryoke.cluster.state_machine.part import FLEET
 from badgeryoke.testbed.checkers.contract_ledger import FEW, least
--- a/tests/cluster/test_behaviour_digests.py
+++ b/tests/cluster/test_behaviour_digests.py
@@ -72,17 +72,16 @@
 )
 from badgeryoke.cluster.node import ClusterNode
 from badgeryoke.cluster.node_setup import NodeSetup
-from badgeryoke.cluster.placement.directory import (
+from badgeryoke.cluster.placement.commands import (
     CancelMove,
     EnrolMember,
     ReadPlacement,
     ReplaceReplica,
     ReplicaMoved,
-    force_sole_voter,
-    group_for_key,
-    initial_placement,
-    replica_count,
 )
+from badgeryoke.cluster.placement.forced_recovery import force_sole_voter
+from badgeryoke.cluster.placement.initial_placement import initial_placement, replica_count
+from badgeryoke.cluster.placement.rendezvous import group_for_key
 from badgeryoke.cluster.raft.log import encode_config
 from badgeryoke.cluster.raft.node import MOST_BODY, RaftNode
 from badgeryoke.cluster.reservations.contract import (
--- a/tests/cluster/test_golden_cluster.py
+++ b/tests/cluster/test_golden_cluster.py
@@ -36,8 +36,9 @@
 from badgeryoke.cluster.node import ClusterNode
 from badgeryoke.cluster.node import reply_decoder as forwarded_answers
 from badgeryoke.cluster.node_setup import NodeSetup
-from badgeryoke.cluster.placement import directory
-from badgeryoke.cluster.placement.directory import group_for_key
+from badgeryoke.cluster.placement import forced_recovery
+from badgeryoke.cluster.placement import state as placement_state
+from badgeryoke.cluster.placement.rendezvous import group_for_key
 from badgeryoke.cluster.reservations import contract
 from badgeryoke.cluster.rolling_restart import restart
 from badgeryoke.cluster.state_machine.machine import REGISTRY, GroupStateMachine, encode_command
@@ -159,8 +160,8 @@
         contract.ContractTerms,
         restart.ClusterConditions,
         unreported_usage.UsageLine,
-        directory.ReplicaMove,
-        directory.GroupPlacement,
+        placement_state.ReplicaMove,
+        placement_state.GroupPlacement,
         ConnectionsAsk,
         ApplyResult,
     }
@@ -595,7 +596,7 @@
     disk = opened(folder)
     disk.close()
     return canonical(
-        directory.force_sole_voter(disk.saved[OTHER], OTHER, "a/1", ("b/2", "c/3"), START_MS + 90_000.5)
+        forced_recovery.force_sole_voter(disk.saved[OTHER], OTHER, "a/1", ("b/2", "c/3"), START_MS + 90_000.5)
     )
 
 
--- a/tests/cluster/test_membership.py
+++ b/tests/cluster/test_membership.py
@@ -44,19 +44,12 @@
     member_name,
 )
 from badgeryoke.cluster.node_setup import BOOTSTRAP_GROUP, Member, NodeSetup
-from badgeryoke.cluster.placement.directory import (
-    FORCED_TERM_INCREMENT,
-    MAX_MOVE_DURATION_MS,
-    CancelMove,
-    EnrolMember,
-    PlacementDirectory,
-    ReplaceReplica,
-    ReplicaMoved,
-    force_sole_voter,
-    group_for_key,
-    initial_placement,
-    replica_count,
-)
+from badgeryoke.cluster.placement.commands import CancelMove, EnrolMember, ReplaceReplica, ReplicaMoved
+from badgeryoke.cluster.placement.directory import PlacementDirectory
+from badgeryoke.cluster.placement.forced_recovery import FORCED_TERM_INCREMENT, force_sole_voter
+from badgeryoke.cluster.placement.initial_placement import initial_placement, replica_count
+from badgeryoke.cluster.placement.rendezvous import group_for_key
+from badgeryoke.cluster.placement.repair import MAX_MOVE_DURATION_MS
 from badgeryoke.cluster.raft.log import RaftLog
 from badgeryoke.cluster.state_machine.part import FLEET, LeaderView
 from badgeryoke.cluster.timings import Timings
--- a/tests/cluster/test_regressions.py
+++ b/tests/cluster/test_regressions.py
@@ -100,15 +100,12 @@
 )
 from badgeryoke.cluster.node import LAGGING_AFTER_MS, ClusterNode, Member, NodeSetup
 from badgeryoke.cluster.node_setup import BOOTSTRAP_GROUP
-from badgeryoke.cluster.placement.directory import (
-    EnrolMember,
-    GroupPlacement,
-    PlacementDirectory,
-    ReplaceReplica,
-    ReplicaMoved,
-    group_for_key,
-    replica_count,
-)
+from badgeryoke.cluster.placement.commands import EnrolMember, ReplaceReplica, ReplicaMoved
+from badgeryoke.cluster.placement.directory import PlacementDirectory
+from badgeryoke.cluster.placement.initial_placement import replica_count
+from badgeryoke.cluster.placement.rendezvous import group_for_key
+from badgeryoke.cluster.placement.repair import is_overdue
+from badgeryoke.cluster.placement.state import GroupPlacement
 from badgeryoke.cluster.raft.log import RaftLog, encode_config
 from badgeryoke.cluster.raft.node import MOST_BODY, MOST_HELD, MOST_SNAPSHOT, RaftNode, Role
 from badgeryoke.cluster.reservations import contract
@@ -528,7 +525,7 @@
 def test_a_move_counts_as_load_and_ends_with_its_newcomers_incarnation() -> None:
     made, _, new = moving()
     held = sum(new in held.voters for held in made.groups.values())
-    assert made._loads()[new] == held + 1
+    assert made.replica_loads()[new] == held + 1
     name = member_name(new)
     assert made.apply(0.0, EnrolMember(id="2", name=name, who=f"{name}/2", zone="a")).error is None
     assert not made.moves
@@ -549,7 +546,7 @@
         {},
         {},
     )
-    assert made.replication_problems(view) == [] and not made._long(view, 0.0)
+    assert made.replication_problems(view) == [] and not is_overdue(view, 0.0)
     voters = made.groups["g1"].voters
     assert made.replication_problems(replace(view, behind={"g1": voters[:1]}))
     made.apply(0.0, ReplicaMoved(id="1", group="g1", voters=voters, number=1, behind=voters[1:2]))
--- a/tests/support/cluster_history.py
+++ b/tests/support/cluster_history.py
@@ -13,7 +13,7 @@
 from badgeryoke.cluster.messages import COMMAND, NOTHING, LogEntry
 from badgeryoke.cluster.messages import CONFIG as CHANGE
 from badgeryoke.cluster.node_setup import BOOTSTRAP_GROUP as FOUNDING_GROUP
-from badgeryoke.cluster.placement import directory
+from badgeryoke.cluster.placement import commands as placement_commands
 from badgeryoke.cluster.raft.log import encode_config
 from badgeryoke.cluster.reservations import contract
 from badgeryoke.cluster.rolling_restart import restart
@@ -43,7 +43,7 @@
 )
 
 FLEET_HISTORY: tuple[tuple[float, Command], ...] = (
-    (0.0, directory.EnrolMember(id="e1", name="d", who="d/4", zone="west")),
+    (0.0, placement_commands.EnrolMember(id="e1", name="d", who="d/4", zone="west")),
     (
         1.0,
         contract.SetCapacity(
@@ -55,11 +55,13 @@
     (4.0, contract.VersionDrained(id="c4", contract=CONTRACT, version=1)),
     (5.0, contract.VersionDrained(id="c5", contract="nightly", version=2)),
     (6.0, contract.ProposeContract(id="c6", contract="huge", terms=msgspec.structs.replace(TERMS, rate=1e6))),
-    (7.0, directory.EnrolMember(id="e2", name="b", who="b/5", zone="west")),
-    (8.0, directory.ReplaceReplica(id="e3", group="g1", lost="b/2", new="d/4", most=2)),
+    (7.0, placement_commands.EnrolMember(id="e2", name="b", who="b/5", zone="west")),
+    (8.0, placement_commands.ReplaceReplica(id="e3", group="g1", lost="b/2", new="d/4", most=2)),
     (
         9.0,
-        directory.ReplicaMoved(id="e4", group="g0", voters=("a/1", "b/2", "c/3"), number=17, behind=("c/3",)),
+        placement_commands.ReplicaMoved(
+            id="e4", group="g0", voters=("a/1", "b/2", "c/3"), number=17, behind=("c/3",)
+        ),
     ),
     (60_500.0, contract.AdvanceContracts(id="c7")),
     (
@@ -104,7 +106,7 @@
     (62_301.0, contract.CancelContract(id="c10", contract="nightly")),  # repeated: the same answer
     (62_302.0, contract.CancelContract(id="c10", contract=CONTRACT)),  # another call with a taken id
     (62_303.0, key_value.PutValue(id="p1", name="payday", value="armed")),  # not for this group
-    (62_304.0, directory.CancelMove(id="e5", group="g0", new="d/4", why="lost")),  # no such move
+    (62_304.0, placement_commands.CancelMove(id="e5", group="g0", new="d/4", why="lost")),  # no such move
 )
 
 
--- a/tests/support/cluster_samples.py
+++ b/tests/support/cluster_samples.py
@@ -11,7 +11,8 @@
 
 from badgeryoke.cluster import connection_limits, errors, key_value, messages, unreported_usage
 from badgeryoke.cluster.bootstrap import BootstrapRecord
-from badgeryoke.cluster.placement import directory
+from badgeryoke.cluster.placement import commands as placement_commands
+from badgeryoke.cluster.placement import state as placement_state
 from badgeryoke.cluster.raft.log import encode_config
 from badgeryoke.cluster.reservations import contract
 from badgeryoke.cluster.rolling_restart import restart
@@ -119,14 +120,19 @@
 COMMANDS: tuple[tuple[str, Command], ...] = (
     ("promise", key_value.PutValue(id="p1", name="payday", value="armed")),
     ("promise-read", key_value.ReadValue(id="p2", name="payday")),
-    ("enrol", directory.EnrolMember(id="e1", name="d", who="d/4", zone="east")),
-    ("replace", directory.ReplaceReplica(id="e2", group="g1", lost="b/2", new="d/4", most=2)),
+    ("enrol", placement_commands.EnrolMember(id="e1", name="d", who="d/4", zone="east")),
+    ("replace", placement_commands.ReplaceReplica(id="e2", group="g1", lost="b/2", new="d/4", most=2)),
     (
         "moved",
-        directory.ReplicaMoved(id="e3", group="g0", voters=("a/1", "b/2", "c/3"), number=17, behind=("c/3",)),
+        placement_commands.ReplicaMoved(
+            id="e3", group="g0", voters=("a/1", "b/2", "c/3"), number=17, behind=("c/3",)
+        ),
+    ),
+    (
+        "forgo",
+        placement_commands.CancelMove(id="e4", group="g1", new="d/4", why="the newcomer does not catch up"),
     ),
-    ("forgo", directory.CancelMove(id="e4", group="g1", new="d/4", why="the newcomer does not catch up")),
-    ("places", directory.ReadPlacement(id="e5")),
+    ("places", placement_commands.ReadPlacement(id="e5")),
     (
         "capacity",
         contract.SetCapacity(
@@ -338,9 +344,11 @@
     _plain("terms", TERMS),
     _plain("roll-facts", FACTS),
     _plain("owed-line", OWED[0]),
-    _plain("copy-on-its-way", directory.ReplicaMove(lost="b/2", new="d/4", started_at_ms=START_MS)),
+    _plain("copy-on-its-way", placement_state.ReplicaMove(lost="b/2", new="d/4", started_at_ms=START_MS)),
     _plain(
         "placed-group",
-        directory.GroupPlacement(voters=("a/1", "b/2"), config_index=5, lagging=("b/2",), report_count=3),
+        placement_state.GroupPlacement(
+            voters=("a/1", "b/2"), config_index=5, lagging=("b/2",), report_count=3
+        ),
     ),
 )
