--- a/badgeryoke/cluster/bootstrap.py
+++ b/badgeryoke/cluster/bootstrap.py
@@ -1,27 +1,28 @@
-"""How a fleet is first formed, so that a member that lost its disk can never pass for a founder.
+"""How a cluster is first formed, so that a member that lost its disk can never pass for a founder.
 
-Every member starts with an empty store and an incarnation drawn with it.  Without a founding record it asks
-the others. Only the member with the lowest name on the operators' list makes one, and only when *every* other
-listed member has answered, within the last `FRESH_MS`, that it has none; each has then put on its own disk
-that it answered this Id, and from there on takes a record that names it only from that Id or by its hand.  So
-once all have answered none, no older record can come to life again at a founder, and as long as one founder
-lives with its disk there is no second founding.
+Every member starts with an empty store and an incarnation drawn with it.  Without a bootstrap record it queries the
+others.  Only the member with the lowest name on the operators' list (the creator) makes a record, and only when
+*every* other listed member has answered, within the last `ANSWER_VALID_MS`, that it has none.  Before each answers, it
+puts on its own disk which id of the creator it answers; from there on it takes a record that names it only from that
+id or made by it.  So once all have answered, no older record can come to life again at a founder, and as long as one
+founder lives with its disk there is no second bootstrap.
 
-A record counts once it is stored, at its maker as at all others.  Whoever is named in it as it is now (name
-and incarnation) is a founder; anybody else is a newcomer and is taken in through the log.
+A record counts once it is stored, at its creator as at all others.  Whoever is named in it with its present
+incarnation is a founder; anybody else is a newcomer and is taken in through the log.
 
-Taken for granted: the list is the same on all machines; one process runs under one name; a message to an Id
-reaches that Id or nobody.  Not promised: a founding while a listed member is down (nothing is promised yet by
-anybody then).
+Assumed: the list is the same on all machines; one process runs under one name; a message to an id reaches that id or
+nobody.  Not promised: a bootstrap while a listed member is down (nobody promises anything yet by then).
 """
 
 from __future__ import annotations
 
 import math
 from random import Random
+from typing import NamedTuple
 
 import msgspec
 
+from badgeryoke.cluster.bootstrap_record import MAX_MEMBERS, BootstrapRecord, decode_record
 from badgeryoke.cluster.errors import BadFrame, ClusterError, ClusterMismatch
 from badgeryoke.cluster.events import (
     HardState,
@@ -45,229 +46,232 @@
 )
 from badgeryoke.cluster.node_setup import BOOTSTRAP_GROUP, NodeSetup
 
-MAX_MEMBERS = 1024
-MAX_RECORD_BYTES = 256 * 1024  # of a record
-FIRST_ASK_MS, LAST_ASK_MS = (
-    200.0,
-    2000.0,
-)  # between rounds of asking, times 0.75 to 1.25; grows by a half each
-FRESH_MS = 6000.0  # an answer counts for so long
-ASK_OTHERS = 3  # beside the lowest name, where this one is not it
-
-
-class BootstrapRecord(msgspec.Struct, frozen=True, array_like=True):
-    """A fleet's founding, the same on each member for good."""
-
-    cluster_name: str
-    bootstrap_id: str  # drawn by its maker; tells two fleets of one name apart
-    created_by: MemberId
-    members: tuple[tuple[MemberId, str], ...]  # founders and their halls, by name
-    group_count: int  # beside the fleet's own
-    replication_factor: int
-
-
-def decode_record(body: bytes) -> BootstrapRecord | None:
-    """A record from its bytes; None where they are none."""
-    if len(body) > MAX_RECORD_BYTES:
-        return None
-    try:
-        record = msgspec.msgpack.decode(body, type=BootstrapRecord)
-    except (msgspec.MsgspecError, ValueError):  # also: not UTF-8
-        return None
-    names = {member_name(who) for who, _ in record.members}
-    if not 1 <= len(record.members) <= MAX_MEMBERS or len(names) != len(record.members):
-        return None
-    return record if record.group_count >= 1 and record.replication_factor >= 1 else None
+MIN_QUERY_INTERVAL_MS = 200.0  # between the first rounds of queries
+MAX_QUERY_INTERVAL_MS = 2000.0
+QUERY_BACKOFF_MULTIPLE = 1.5  # the interval grows by this with each round
+MIN_QUERY_JITTER, QUERY_JITTER_SPAN = 0.75, 0.5  # times the interval: from 0.75 to 1.25
+ANSWER_VALID_MS = 6000.0  # an answer that there is no record counts for so long
+QUERIED_BESIDE_CREATOR = 3  # members queried in a round by one that is not the creator
+BOOTSTRAP_ID_BITS = 64
+
+Effects = list[SendMessage | PersistRecords | LogEvent]
+
+
+class _NoRecordAnswer(NamedTuple):
+    """A member answered that it has no record: when, and under which id."""
+
+    at: float
+    member_id: MemberId
+
+
+class _PendingRecord(NamedTuple):
+    """A record on its way to the disk."""
+
+    seq: int
+    record: BootstrapRecord
 
 
 class Bootstrap:
-    """One member's way to the record.  `due`: when the next Tick has to come; infinite once the record is
-    stored."""
+    """One member's way to the record.
+
+    `due`: when the next Tick has to come (ms of the clock of `now`); infinite once the record is stored.
+    """
 
     def __init__(self, setup: NodeSetup, saved: PersistedGroup, draw: Random, now: float) -> None:
         self.record: BootstrapRecord | None = None  # once it is stored
         self.error: ClusterError | None = None  # why there is none, where waiting does not help
-        self._setup, self._draw, self._saved = setup, draw, saved
-        self._halls = {one.name: one.zone for one in setup.members}
-        self._others = sorted(name for name in self._halls if name != setup.member_name)
-        self._lowest = min([*self._others, setup.member_name])
-        self._none: dict[str, tuple[float, MemberId]] = {}  # who answered "none", when and as whom
-        self._lock, self._locks = saved.vote, saved.term
-        self._past: dict[MemberId, None] = {}  # askers under the lowest name that are over
-        self._asked: dict[int, MemberId] = {}  # answers that wait for the lock to be stored
-        self._storing: tuple[int, BootstrapRecord] | None = None
-        self._seq, self._wait = 0, FIRST_ASK_MS
-        self.due = now + draw.random() * FIRST_ASK_MS
+        self._setup, self._draw = setup, draw
+        self._zones = {member.name: member.zone for member in setup.members}
+        self._zone = self._zones.get(setup.member_name, "")
+        self._others = sorted(name for name in self._zones if name != setup.member_name)
+        self._creator_name = min([*self._others, setup.member_name])
+        self._no_record: dict[str, _NoRecordAnswer] = {}  # by name
+        # The creator's id that was promised an answer, stored as a vote, and how often that changed, as its term.
+        self._promised_to, self._promise_count = saved.vote, saved.term
+        self._past_creators: dict[MemberId, None] = {}  # earlier ids of the creator
+        self._unstored_promises: dict[
+            int, MemberId
+        ] = {}  # answered once they are on disk, by sequence number
+        self._pending: _PendingRecord | None = None
+        self._last_seq, self._query_interval_ms = 0, MIN_QUERY_INTERVAL_MS
+        self.due = now + draw.random() * MIN_QUERY_INTERVAL_MS
         if saved.snapshot is not None:
             self._restore(saved.snapshot.body)
 
     @property
     def is_founder(self) -> bool:
-        """Whether this member, as it is now, is one of those that the record names."""
-        return self.record is not None and self._named(self.record)
+        """Whether this member, with its present incarnation, is named by the record."""
+        return self.record is not None and self.record.names_member(self._setup.member_id)
 
     def handle(
         self, now: float, event: Tick | MessageReceived | RecordsPersisted | StorageFailure
-    ) -> list[SendMessage | PersistRecords | LogEvent]:
-        """Take an event in; only WhoAreYou, IAm, Found and what is stored under FOUNDING concern it."""
-        out: list[SendMessage | PersistRecords | LogEvent] = []
-        if isinstance(event, MessageReceived):
-            self._received(now, event.sender, event.message, out)
-        elif isinstance(event, RecordsPersisted) and event.group == BOOTSTRAP_GROUP:
-            self._stored(event.seq, out)
-        elif isinstance(event, StorageFailure):
-            self.error, self.due = event.error, math.inf
+    ) -> Effects:
+        """Take an event in; of messages, and of what is stored, only what concerns the bootstrap counts."""
+        effects: Effects = []
+        match event:
+            case MessageReceived(sender=sender, message=message):
+                self._receive(now, sender, message, effects)
+            case RecordsPersisted(group=group, seq=seq) if group == BOOTSTRAP_GROUP:
+                self._on_persisted(seq, effects)
+            case StorageFailure(error=error):
+                self.error, self.due = error, math.inf
+            case _:
+                pass
         if now >= self.due and self.record is None:
-            self._round(now, out)
-        return out
+            self._begin_round(now, effects)
+        return effects
 
     def _restore(self, body: bytes) -> None:
         found = decode_record(body)
         if found is None:
             self.error = BadFrame(self._setup.member_name, "the stored founding record cannot be read")
         elif found.cluster_name != self._setup.cluster_name:
-            self.error = ClusterMismatch(
-                found.cluster_name, f"the folder belongs to it, not to {self._setup.cluster_name!r}"
-            )
+            detail = f"the folder belongs to it, not to {self._setup.cluster_name!r}"
+            self.error = ClusterMismatch(found.cluster_name, detail)
         else:
             self.record = found
         self.due = math.inf
 
-    def _named(self, record: BootstrapRecord) -> bool:
-        return any(who == self._setup.member_id for who, _ in record.members)
-
-    def _same_cluster(self, record: BootstrapRecord) -> bool:
-        known = self.record or record
-        return record.cluster_name == self._setup.cluster_name and known.bootstrap_id == record.bootstrap_id
-
-    # Asking
-    # ----------------------------------------------------------------------------------------------------------
+    # Queries
 
-    def _round(self, now: float, out: list[SendMessage | PersistRecords | LogEvent]) -> None:
-        self._wait = min(self._wait * 1.5, LAST_ASK_MS)
-        self.due = now + self._wait * (0.75 + 0.5 * self._draw.random())
-        if self.error is not None or self._storing is not None:
+    def _begin_round(self, now: float, effects: Effects) -> None:
+        """Make the record, where this is the creator and all have answered, else query the others."""
+        self._query_interval_ms = min(self._query_interval_ms * QUERY_BACKOFF_MULTIPLE, MAX_QUERY_INTERVAL_MS)
+        jitter = MIN_QUERY_JITTER + QUERY_JITTER_SPAN * self._draw.random()
+        self.due = now + self._query_interval_ms * jitter
+        if self.error is not None or self._pending is not None:
+            return
+        if self._setup.member_name != self._creator_name:
+            others = [name for name in self._others if name != self._creator_name]
+            sample = self._draw.sample(others, min(QUERIED_BESIDE_CREATOR, len(others)))
+            queried = [self._creator_name, *sample]
+        elif self._all_answered(now):
+            self._persist_record(self._make_record(), effects)
             return
-        if self._setup.member_name == self._lowest:
-            if self._make(now, out):
-                return
-            asked = self._others
         else:
-            others = [name for name in self._others if name != self._lowest]
-            asked = [self._lowest, *self._draw.sample(others, min(ASK_OTHERS, len(others)))]
-        hall = self._halls.get(self._setup.member_name, "")
-        out += [SendMessage(name + "/", IdentityQuery(hall)) for name in asked]
-
-    def _make(self, now: float, out: list[SendMessage | PersistRecords | LogEvent]) -> bool:
-        """The record, where all the others have said of late that they have none."""
-        if any(now - self._none.get(name, (-math.inf, ""))[0] > FRESH_MS for name in self._others):
-            return False
-        ids = {
-            self._setup.member_name: self._setup.member_id,
-            **{name: self._none[name][1] for name in self._others},
-        }
-        record = BootstrapRecord(
+            queried = self._others
+        effects += [SendMessage(name + "/", IdentityQuery(self._zone)) for name in queried]
+
+    def _all_answered(self, now: float) -> bool:
+        """Whether all others have said lately that they have no record."""
+        answers = [self._no_record.get(name) for name in self._others]
+        return all(answer is not None and now - answer.at <= ANSWER_VALID_MS for answer in answers)
+
+    def _make_record(self) -> BootstrapRecord:
+        ids = {name: self._no_record[name].member_id for name in self._others}
+        ids[self._setup.member_name] = self._setup.member_id
+        return BootstrapRecord(
             self._setup.cluster_name,
-            f"{self._draw.getrandbits(64):016x}",
+            f"{self._draw.getrandbits(BOOTSTRAP_ID_BITS):016x}",
             self._setup.member_id,
-            tuple((ids[name], self._halls[name]) for name in sorted(ids)),
+            tuple((ids[name], self._zones[name]) for name in sorted(ids)),
             self._setup.group_count,
             self._setup.replication_factor,
         )
-        self._take(record, out)
-        return True
-
-    def _take(self, record: BootstrapRecord, out: list[SendMessage | PersistRecords | LogEvent]) -> None:
-        """Stored first; it counts when that has come back."""
-        self._seq += 1
-        self._storing = self._seq, record
-        config = GroupConfiguration(tuple(who for who, _ in record.members))
-        out.append(
-            PersistRecords(
-                BOOTSTRAP_GROUP, self._seq, (Snapshot(1, 1, config, msgspec.msgpack.encode(record)),)
-            )
-        )
 
-    def _stored(self, seq: int, out: list[SendMessage | PersistRecords | LogEvent]) -> None:
-        asker = self._asked.pop(seq, None)
-        if asker is not None and asker == self._lock and self._storing is None and self.record is None:
-            out.append(SendMessage(asker, Announce(self._halls.get(self._setup.member_name, ""), b"")))
-        if self._storing is None or self._storing[0] != seq:
-            return
-        self.record, self._storing, self.due = self._storing[1], None, math.inf
-        self._none.clear()
-        out.append(
-            LogEvent(
-                "info",
-                "fleet_founded" if self.record.created_by == self._setup.member_id else "fleet_joined",
-                {"founding": self.record.bootstrap_id, "founder": self.is_founder},
-            )
-        )
-        if self.record.created_by == self._setup.member_id:  # told once; whom it does not reach asks
-            body = msgspec.msgpack.encode(self.record)
-            out += [
-                SendMessage(who, ClusterFounded(body))
-                for who, _ in self.record.members
-                if who != self._setup.member_id
+    def _persist_record(self, record: BootstrapRecord, effects: Effects) -> None:
+        """Store it, as a snapshot; it counts when that has come back."""
+        self._last_seq += 1
+        self._pending = _PendingRecord(self._last_seq, record)
+        config = GroupConfiguration(tuple(founder for founder, _ in record.members))
+        snapshot = Snapshot(1, 1, config, msgspec.msgpack.encode(record))
+        effects.append(PersistRecords(BOOTSTRAP_GROUP, self._last_seq, (snapshot,)))
+
+    def _on_persisted(self, seq: int, effects: Effects) -> None:
+        promised_to = self._unstored_promises.pop(seq, None)
+        has_none = self._pending is None and self.record is None
+        if promised_to is not None and promised_to == self._promised_to and has_none:
+            effects.append(SendMessage(promised_to, Announce(self._zone, b"")))
+        if self._pending is not None and self._pending.seq == seq:
+            self._adopt(self._pending.record, effects)
+
+    def _adopt(self, record: BootstrapRecord, effects: Effects) -> None:
+        """The record is stored; its creator sends it once, and whom that does not reach queries."""
+        self.record, self._pending, self.due = record, None, math.inf
+        self._no_record.clear()
+        is_creator = record.created_by == self._setup.member_id
+        name = "fleet_founded" if is_creator else "fleet_joined"
+        fields = {"founding": record.bootstrap_id, "founder": self.is_founder}
+        effects.append(LogEvent("info", name, fields))
+        if is_creator:
+            message = ClusterFounded(msgspec.msgpack.encode(record))
+            effects += [
+                SendMessage(founder, message)
+                for founder, _ in record.members
+                if founder != self._setup.member_id
             ]
 
-    # Answering
-    # -------------------------------------------------------------------------------------------------------
+    # Answers
 
-    def _received(
-        self,
-        now: float,
-        sender: MemberId,
-        message: object,
-        out: list[SendMessage | PersistRecords | LogEvent],
-    ) -> None:
+    def _receive(self, now: float, sender: MemberId, message: object, effects: Effects) -> None:
         name = member_name(sender)
-        if name not in self._halls or name == self._setup.member_name:
+        if name not in self._zones or name == self._setup.member_name:
             return
-        if isinstance(message, IdentityQuery):
-            self._answer(sender, out)
-        elif isinstance(message, (Announce, ClusterFounded)):
-            if isinstance(message, Announce) and not message.founding:
-                if self.record is None and self._storing is None:
-                    self._none[name] = now, sender
-                return
-            self._heard(sender, message.founding, out)
-
-    def _answer(self, sender: MemberId, out: list[SendMessage | PersistRecords | LogEvent]) -> None:
-        hall = self._halls.get(self._setup.member_name, "")
+        match message:
+            case IdentityQuery():
+                self._answer(sender, effects)
+            case Announce(founding=b""):
+                if self.record is None and self._pending is None:
+                    self._no_record[name] = _NoRecordAnswer(now, sender)
+            case Announce(founding=body) | ClusterFounded(founding=body):
+                self._receive_record(sender, body, effects)
+            case _:
+                pass
+
+    def _answer(self, sender: MemberId, effects: Effects) -> None:
+        """Answer a query; one under the creator's name only once the promise to it is on disk."""
         if self.record is not None:
-            out.append(SendMessage(sender, Announce(hall, msgspec.msgpack.encode(self.record))))
-        elif self._storing is not None or self.error is not None:
-            return  # neither "none" nor a record that may not survive: it asks again
-        elif member_name(sender) != self._lowest or (
-            sender == self._lock and sender not in self._asked.values()
-        ):
-            out.append(SendMessage(sender, Announce(hall, b"")))
-        elif sender != self._lock and sender not in self._past and len(self._past) < MAX_MEMBERS:
-            if self._lock:
-                self._past[self._lock] = None
-            self._seq += 1
-            self._lock, self._locks, self._asked = sender, self._locks + 1, {self._seq: sender}
-            out.append(PersistRecords(BOOTSTRAP_GROUP, self._seq, (HardState(self._locks, sender),)))
-
-    def _heard(
-        self, sender: MemberId, body: bytes, out: list[SendMessage | PersistRecords | LogEvent]
-    ) -> None:
-        """A record, from its maker or from anybody who has it."""
+            answer = Announce(self._zone, msgspec.msgpack.encode(self.record))
+            effects.append(SendMessage(sender, answer))
+            return
+        if self._pending is not None or self.error is not None:
+            return  # neither "none" nor a record that may not survive: it queries again
+        is_creator = member_name(sender) == self._creator_name
+        is_promised = sender == self._promised_to and sender not in self._unstored_promises.values()
+        if not is_creator or is_promised:
+            effects.append(SendMessage(sender, Announce(self._zone, b"")))
+        elif sender != self._promised_to and sender not in self._past_creators:
+            self._promise(sender, effects)
+
+    def _promise(self, creator: MemberId, effects: Effects) -> None:
+        """From here on take a record that names this member only from this id, or made by it."""
+        if len(self._past_creators) >= MAX_MEMBERS:
+            return
+        if self._promised_to:
+            self._past_creators[self._promised_to] = None
+        self._last_seq += 1
+        self._promise_count += 1
+        self._promised_to, self._unstored_promises = creator, {self._last_seq: creator}
+        state = HardState(self._promise_count, creator)
+        effects.append(PersistRecords(BOOTSTRAP_GROUP, self._last_seq, (state,)))
+
+    def _receive_record(self, sender: MemberId, body: bytes, effects: Effects) -> None:
+        """A record, from its creator or from anybody who has it."""
         record = decode_record(body)
         if record is None:
-            out.append(_say(BadFrame(sender, "a founding record that cannot be read")))
-        elif not self._same_cluster(record):
-            belongs = f"it belongs to {record.cluster_name!r}, founding {record.bootstrap_id}"
-            out.append(_say(ClusterMismatch(sender, belongs)))
-        elif self.record is None and self._storing is None and self.error is None:
-            if self._named(record) and self._lock and self._lock not in (sender, record.created_by):
-                # promised to a later maker: this one is from before it asked, and may be nobody's any more
-                return
-            self._take(record, out)
-
-
-def _say(error: ClusterError) -> LogEvent:
-    return LogEvent(
-        "error", "fleet_founding", {"error": error.code, "whom": error.subject, "what": error.detail}
-    )
+            effects.append(_error_event(BadFrame(sender, "a founding record that cannot be read")))
+        elif not self._is_of_this_cluster(record):
+            detail = f"it belongs to {record.cluster_name!r}, founding {record.bootstrap_id}"
+            effects.append(_error_event(ClusterMismatch(sender, detail)))
+        elif self._wants_record() and not self._breaks_promise(sender, record):
+            self._persist_record(record, effects)
+
+    def _wants_record(self) -> bool:
+        return self.record is None and self._pending is None and self.error is None
+
+    def _is_of_this_cluster(self, record: BootstrapRecord) -> bool:
+        known = self.record or record
+        return record.cluster_name == self._setup.cluster_name and known.bootstrap_id == record.bootstrap_id
+
+    def _breaks_promise(self, sender: MemberId, record: BootstrapRecord) -> bool:
+        """Whether it is from before a later creator was answered, and so may be nobody's any more."""
+        return (
+            record.names_member(self._setup.member_id)
+            and bool(self._promised_to)
+            and self._promised_to not in (sender, record.created_by)
+        )
+
+
+def _error_event(error: ClusterError) -> LogEvent:
+    fields = {"error": error.code, "whom": error.subject, "what": error.detail}
+    return LogEvent("error", "fleet_founding", fields)
--- /dev/null
+++ b/badgeryoke/cluster/leader_duties.py
@@ -0,0 +1,120 @@
+"""What this member proposes for the groups that it leads."""
+
+from __future__ import annotations
+
+from badgeryoke.cluster.call_router import CallRouter
+from badgeryoke.cluster.connection_limits import SetConnectionLimit, bucket
+from badgeryoke.cluster.events import Effect
+from badgeryoke.cluster.membership.protocol import Membership
+from badgeryoke.cluster.messages import MemberId
+from badgeryoke.cluster.node_setup import NodeSetup
+from badgeryoke.cluster.placement.rendezvous import group_for_key
+from badgeryoke.cluster.placement_follower import PlacementFollower
+from badgeryoke.cluster.raft.node import RaftNode
+from badgeryoke.cluster.replica_host import ReplicaHost
+from badgeryoke.cluster.state_machine.machine import GroupStateMachine
+from badgeryoke.cluster.state_machine.part import FLEET, Command, LeaderView
+
+MAX_PENDING_TASKS = 1024  # proposals of leaders here without an answer; further ones wait
+MAX_HEARD_IDS = 8192  # ids heard by one process; further ones are not counted on
+
+
+class LeaderDuties:
+    """Gathers what leaders may look at, and turns their tasks into calls."""
+
+    def __init__(
+        self,
+        setup: NodeSetup,
+        host: ReplicaHost,
+        membership: Membership,
+        router: CallRouter,
+        follower: PlacementFollower,
+    ) -> None:
+        self._setup, self._host, self._membership = setup, host, membership
+        self._router, self._follower = router, follower
+        self._zones = {member.name: member.zone for member in setup.members}
+        self._heard_ids: dict[MemberId, None] = {}
+
+    def note_heard(self, sender: MemberId) -> None:
+        """A message of this id came in."""
+        if sender not in self._heard_ids and len(self._heard_ids) < MAX_HEARD_IDS:
+            self._heard_ids[sender] = None
+
+    def view(self, now: float, wall: float, replica: RaftNode, load: dict[str, float]) -> LeaderView:
+        """What the parts of a group led here may look at; `load` as in `ClusterNode.load`."""
+        placement = self._follower.placement
+        if replica.group == FLEET:
+            parts = self._host.state_machines[FLEET].parts
+            placement = parts["placing"]
+            promised = parts["contracts"].promised(wall, wall + parts["rolls"].horizon_ms())
+            load = {**load, "promised": promised}
+        behind = {group: one.lagging for group, one in placement.groups.items() if one.lagging}
+        for group, led in self._host.replicas.items():
+            if led.leading:
+                behind[group] = led.behind() + self._follower.lagging_for_long(now, group, led)
+        return LeaderView(
+            now,
+            wall,
+            self._setup.member_id,
+            replica.lead_since,
+            self._setup.timings,
+            self._living(),
+            self._membership.dead_for_ms(now),
+            self._zones,
+            load,
+            placement.voters() or self._host.voters_by_group,
+            behind,
+        )
+
+    def _living(self) -> frozenset[MemberId]:
+        """Alive members that this process has heard itself: one just started knows of nobody."""
+        return frozenset(
+            member
+            for member in self._membership.alive_ids()
+            if member == self._setup.member_id or member in self._heard_ids
+        )
+
+    def propose(
+        self,
+        now: float,
+        wall: float,
+        replica: RaftNode,
+        load: dict[str, float],
+        connection_limits: dict[str, int],
+    ) -> list[Effect]:
+        """Call what the leader of a group has to propose now; `connection_limits` by server."""
+        effects: list[Effect] = []
+        state_machine = self._host.state_machines[replica.group]
+        commands = state_machine.leader_tasks(self.view(now, wall, replica, load))
+        if replica.group != FLEET:
+            commands += self._limit_commands(replica.group, state_machine, connection_limits)
+        for command in commands:
+            is_pending = self._router.task_is_pending(command.id)
+            if not is_pending and self._router.pending_task_count() < MAX_PENDING_TASKS:
+                effects += self._router.call_once(now, wall, command)
+        return effects
+
+    def _limit_commands(
+        self, group: str, state_machine: GroupStateMachine, connection_limits: dict[str, int]
+    ) -> list[Command]:
+        """Servers of the group whose limit it does not know as this gateway does."""
+        assert self._host.record is not None
+        group_count = self._host.record.group_count
+        known = state_machine.parts["connections"].servers
+        commands: list[Command] = []
+        for server, limit in connection_limits.items():
+            is_known = server in known
+            if is_known and known[server].parts.whole == limit:
+                continue
+            if group_for_key(bucket(server), group_count) != group:
+                continue
+            known_limit = known[server].parts.whole if is_known else 0
+            commands.append(
+                SetConnectionLimit(
+                    id=f"limit/{server}/{limit}/{known_limit:g}/{state_machine.index}",
+                    server=server,
+                    most=limit,
+                    idle_ms=self._setup.connection_idle_ms,
+                )
+            )
+        return commands
--- a/badgeryoke/cluster/node.py
+++ b/badgeryoke/cluster/node.py
@@ -1,32 +1,23 @@
-"""One gateway's whole share in the fleet: membership, the replicas of its groups, its calls and its leases.
+"""One gateway's part in the cluster: membership, the replicas of its groups, its calls and its leases.
 
 The same object runs in a gateway (`badgeryoke/gateway/cluster/service`) and in simulated time
-(`badgeryoke/testbed/cluster_simulation/world`); both hand it events and carry out its effects, and nothing
-else decides.
+(`badgeryoke/testbed/cluster_simulation/world`); both hand it events and carry out its effects, and nothing else
+decides.  Times named `now` are of the monotonic clock, `wall` is Unix time; both in ms.
 """
 
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field, replace
+from collections.abc import Iterable
 from random import Random
 from typing import Any
 
 import msgspec
 
 from badgeryoke.cluster.bootstrap import Bootstrap
-from badgeryoke.cluster.connection_limits import SetConnectionLimit, bucket
-from badgeryoke.cluster.errors import (
-    AnyError,
-    ClusterError,
-    InvalidCall,
-    InvariantBroken,
-    NoLeader,
-    Overloaded,
-    StorageFailed,
-    UnknownOutcome,
-)
+from badgeryoke.cluster.call_router import CallResult, CallRouter, ResultHandler
+from badgeryoke.cluster.cluster_clock import MedianClock
+from badgeryoke.cluster.errors import ClusterError
 from badgeryoke.cluster.events import (
     ClusterCall,
     Effect,
@@ -36,16 +27,14 @@
     NodeEvent,
     OperationCompleted,
     PersistedGroup,
-    ProposeCommand,
-    ReadIndexRequest,
     RecordsPersisted,
-    ReplicaEvent,
     SendMessage,
     StorageFailure,
     Tick,
     TransferLeadership,
 )
 from badgeryoke.cluster.invariants import Invariants
+from badgeryoke.cluster.leader_duties import LeaderDuties
 from badgeryoke.cluster.membership.protocol import Membership
 from badgeryoke.cluster.messages import (
     Ack,
@@ -53,69 +42,31 @@
     ClusterFounded,
     ForwardedCall,
     ForwardedReply,
-    GroupConfiguration,
     GroupMessage,
     IdentityQuery,
-    MemberId,
     Nack,
     Ping,
     PingRequest,
-    member_name,
 )
-from badgeryoke.cluster.node_setup import BOOTSTRAP_GROUP, LeaseClient, Member, NodeSetup
-from badgeryoke.cluster.placement.commands import ReadPlacement
-from badgeryoke.cluster.placement.directory import PlacementDirectory
-from badgeryoke.cluster.placement.initial_placement import initial_placement
-from badgeryoke.cluster.placement.rendezvous import group_for_key
+from badgeryoke.cluster.node_setup import ANY_SERVER, BOOTSTRAP_GROUP, LeaseClient, Member, NodeSetup
+from badgeryoke.cluster.node_timers import NodeTimers, TokenSource, next_multiple
+from badgeryoke.cluster.placement_follower import PlacementFollower
 from badgeryoke.cluster.raft.node import RaftNode
-from badgeryoke.cluster.state_machine.machine import GroupStateMachine, decode_command, encode_command
-from badgeryoke.cluster.state_machine.part import FLEET, ApplyResult, Command, LeaderView
-
-__all__ = ["BOOTSTRAP_GROUP", "ClusterNode", "LeaseClient", "Member", "NodeSetup"]
-MOST_CALLS = 4096  # calls of this gateway that have no answer yet; more are refused
-MOST_MET = 8192  # Ids heard by one process; further ones are not counted on
-MOST_HOPS = 3  # of a call on its way to a leader
-# of `call_ms`, after which a call without an answer is made again: its id makes that harmless
-TRY_PART = 0.25
-PAUSE_MS = 40.0  # before a call that found no leader is made again
-LAGGING_AFTER_MS = 1000.0  # a voter that has not caught up for so long is reported as behind
-HEARD_MS = 3000.0  # any other member reads it so often, to know whom to ask
-SOON_MS = 50.0  # and again so soon, while something changes
-PLACES_MS = 400.0  # a member that leads a group reads so often who is to copy it, while not all is well
-CALM_MS = 1600.0  # and so often once all was well for
-# so long (a roll's next gateway has gone by then), or along with another reading there after half
-WELL_MS = 5000.0
-ANY_SERVER = "*"  # in Setup.servers: each server that is not named
-POLL_MS = 50.0  # the holders' calls are looked for so often
-
-
-reply_decoder = msgspec.msgpack.Decoder(tuple[ApplyResult | None, AnyError | None, str])
-
-
-@dataclass(slots=True)
-class _Call:
-    """A call of this gateway that has no answer yet."""
-
-    command: Command
-    group: str
-    until: float
-    answer: Callable[[float, ApplyResult | ClusterError], list[Effect]]
-    again: float  # when it is made again
-    round: int = 0  # of looking for the leader
-    tries: int = 0
-    open: dict[int, None] = field(default_factory=dict)  # tries that have no answer yet
-    last: ClusterError | None = None  # what the last try came to
-    maybe: bool = False  # a try may have been taken: its answer was that nobody knows
-
-
-def _nobody(now: float, result: Any) -> list[Effect]:
-    return []
+from badgeryoke.cluster.replica_host import ReplicaHost
+from badgeryoke.cluster.state_machine.machine import GroupStateMachine
+from badgeryoke.cluster.state_machine.part import Command
+
+__all__ = ["ANY_SERVER", "BOOTSTRAP_GROUP", "ClusterNode", "LeaseClient", "Member", "NodeSetup"]
+
+POLL_INTERVAL_MS = 50.0  # lease clients are polled so often
+LEAVE_TIMEOUT_ELECTIONS = 2  # times `election_ms`, to hand all groups over before a graceful shutdown
 
 
 class ClusterNode:
-    """See above.  `due` is when the next Tick has to come at the latest, `now`'s clock.
+    """Takes events in, and gives effects.  The next Tick has to come by `due` at the latest.
 
-    `load` may be set by the shell: what the gateway knows of capacity and demand, units a second.
+    The gateway may set at any time: `load`, what it knows of capacity and demand (units a second);
+    `connection_limits` of servers; `avoid_leadership`, so that groups led here go to others; `lease_clients`.
     """
 
     def __init__(
@@ -129,625 +80,266 @@
         lease_clients: Iterable[LeaseClient] = (),
     ) -> None:
         self.setup, self.rules, self.me = setup, rules, setup.member_id
-        self._timings, self._draw = setup.timings, draw
-        self._saved = dict(saved)
-        self._halls = {member.name: member.zone for member in setup.members}
+        zones = {member.name: member.zone for member in setup.members}
+        saved = dict(saved)
         self.load: dict[str, float] = {"capacity": setup.capacity}
-        # set by the shell while a roll takes this gateway: what is led goes to others
         self.avoid_leadership = False
         self.lease_clients = list(lease_clients)
-        self.replicas: dict[str, RaftNode] = {}
-        self.state_machines: dict[str, GroupStateMachine] = {}
-        self.membership = Membership(
-            self.me, self._halls.get(setup.member_name, ""), setup.members, setup.timings, draw, now
-        )
-        self.bootstrap = Bootstrap(setup, self._saved.pop(BOOTSTRAP_GROUP, PersistedGroup()), draw, now)
-        self._broken: ClusterError | None = None  # why this member promises nothing
-        self._calls: dict[str, _Call] = {}
-        self._ours: dict[
-            str, Callable[[float, Any], list[Effect]]
-        ] = {}  # proposals of replicas here, by token
-        self._routes: dict[str, MemberId] = {}  # who led a group, as last heard
-        self._placed: dict[str, tuple[MemberId, ...]] = {}  # who copies a group, as last heard
-        self._first: dict[str, tuple[MemberId, ...]] = {}  # as founded
-        self._working: dict[str, None] = {}  # commands that a leader here has under way
-        self._changing: dict[str, None] = {}  # groups with a change of members under way here
-        self._places = PlacementDirectory(setup.timings, rules)  # who is to copy what, as last read
-        self._reading = False
-        self._places_at = self._heard_at = self._unwell_at = self._read_at = now
-        self._lags: dict[
-            tuple[str, MemberId], float
-        ] = {}  # voters of groups led here that have not caught up, since when
-        self._met: dict[MemberId, None] = {}  # heard by this process
-        self._ahead: dict[str, float] = {}  # others' wall clocks less this one's
-        self.clock_offset_ms = 0.0  # the fleet's time less this machine's, ms
-        self._timed = len(self._halls) <= 1  # whether a majority's clocks were heard
         self.connection_limits = {
-            name: most for name, most in setup.connection_limits.items() if name != ANY_SERVER
+            server: limit for server, limit in setup.connection_limits.items() if server != ANY_SERVER
         }
-        self._last = 0
-        # tokens of an earlier life are not answered as this one's
-        self._begun = f"{draw.getrandbits(48):012x}"
-        self._work_at = self._poll_at = now
-        self._rolled = "", 0  # the roll under way, and its changes when this member last looked
-        self._leaving: tuple[str, float] | None = None
-        self.due = now
-        if self.bootstrap.record is not None:
-            self._open(now)
-
-    # Groups -----------------------------------------------------------------------------------------------
-
-    def _open(self, now: float) -> None:
-        """The fleet is founded: bring up what this member copies."""
-        record = self.bootstrap.record
-        assert record is not None
-        self._placed = self._first = initial_placement(record)
-        self.membership.learn_ids((who for who, _ in record.members))
-        for group, ids in self._placed.items():
-            if group in self._saved or self.me in ids:
-                self._replica(now, group)
-        for group in list(self._saved):
-            self._replica(now, group)
-
-    def _replica(self, now: float, group: str) -> RaftNode | None:
-        """The replica of a group; a newcomer's where there is none, which waits to be told."""
-        found = self.replicas.get(group)
-        if found is None and group in self._placed:
-            state = self.state_machines[group] = GroupStateMachine(group, self._timings, self.rules)
-            if group == FLEET:
-                assert self.bootstrap.record is not None
-                state.parts["placing"].initialize(self.bootstrap.record)
-            saved = self._saved.pop(group, PersistedGroup())
-            # A founder's first placing alone, and before anything was stored: who comes in later waits to be
-            # told.
-            first = GroupConfiguration(self._first[group]) if self.me in self._first.get(group, ()) else None
-            found = self.replicas[group] = RaftNode(
-                group, self.me, saved, state, self._timings, self._draw, self.rules, now, first
-            )
-        return found
-
-    def _feed(self, now: float, group: str, event: ReplicaEvent) -> list[Effect]:
-        """Let a replica take an event, and carry its results on."""
-        replica = self.replicas[group]
-        broken = self.rules.count
-        effects: list[Effect] = []
-        for effect in replica.handle(now, event):
-            if isinstance(effect, OperationCompleted):
-                effects += self._ours.pop(effect.token, _nobody)(now, effect.result)
-            else:
-                effects.append(effect)
-        self.due = min(self.due, replica.due)  # what has become later costs one Tick that does nothing
-        if group == FLEET and replica.leading:
-            self._hurry(now)
-        if self.rules.count != broken and not isinstance(event, StorageFailure):
-            rule, facts = self.rules.broken[-1]
-            error = InvariantBroken(group, f"{rule.name}: {facts}")
-            effects.append(LogEvent("error", "invariant broken", {"group": group, "error": str(error)}))
-            effects += self._feed(now, group, StorageFailure(error))  # it promises nothing from here on
-        return effects
+        self.membership = Membership(
+            self.me, zones.get(setup.member_name, ""), setup.members, setup.timings, draw, now
+        )
+        self.bootstrap = Bootstrap(setup, saved.pop(BOOTSTRAP_GROUP, PersistedGroup()), draw, now)
+        self.clock = MedianClock(zones)
+        self._timers = NodeTimers(due_at=now, leader_tasks_at=now, poll_at=now)
+        tokens = TokenSource(self.me, draw)
+        self.host = ReplicaHost(setup, saved, draw, rules, self._timers)
+        self.router = CallRouter(setup, self.host, self.membership, self.clock, tokens, self._timers, draw)
+        self.placement_follower = PlacementFollower(
+            setup, rules, self.host, self.membership, self.router, tokens, self._timers, now
+        )
+        self.leader_duties = LeaderDuties(
+            setup, self.host, self.membership, self.router, self.placement_follower
+        )
+        self._storage_error: ClusterError | None = None  # why this member promises nothing
+        self._departure: tuple[str, float] | None = None  # the token of `LeaveCluster`, and the deadline
+        self._open_if_bootstrapped(now)
+
+    @property
+    def due(self) -> float:
+        """When the next Tick has to come at the latest."""
+        return self._timers.due_at
+
+    @property
+    def replicas(self) -> dict[str, RaftNode]:
+        """The replicas here, by group."""
+        return self.host.replicas
 
-    def _hurry(self, now: float) -> None:
-        """A roll has moved: whoever schedules it looks at once, not with the next heartbeat."""
-        roll = self.state_machines[FLEET].parts["rolls"].active
-        if roll is not None and (roll.name, roll.changes) != self._rolled:
-            self._rolled = roll.name, roll.changes
-            self._work_at = self.due = now
+    @property
+    def state_machines(self) -> dict[str, GroupStateMachine]:
+        """The state machine of each replica here, by group."""
+        return self.host.state_machines
 
-    # Events -----------------------------------------------------------------------------------------------
+    # Events
 
     def handle(self, now: float, wall: float, event: NodeEvent) -> list[Effect]:
-        """Take an event in; gives what has to be done, in order."""
-        effects: list[Effect] = []
-        raw, wall = wall, wall + self.clock_offset_ms
-        if isinstance(event, MessageReceived) and event.sender not in self._met and len(self._met) < MOST_MET:
-            self._met[event.sender] = None
+        """Take an event in; gives the effects in order."""
+        cluster_time = wall + self.clock.offset_ms
+        if isinstance(event, MessageReceived):
+            self.leader_duties.note_heard(event.sender)
+            effects = self._receive(now, wall, cluster_time, event)
+        else:
+            effects = self._handle_local(now, wall, cluster_time, event)
+        if isinstance(event, Tick) or now >= self.due or self._departure is not None:
+            effects += self._tick(now, wall)
+        return effects
+
+    def _receive(self, now: float, wall: float, cluster_time: float, event: MessageReceived) -> list[Effect]:
+        sender = event.sender
+        match event.message:
+            case GroupMessage(group=group):
+                if self.host.record is None or self.host.replica(now, group) is None:
+                    return []
+                return self.host.feed(now, group, event)
+            case ForwardedCall() as message:
+                return self.router.on_forwarded_call(now, cluster_time, sender, message)
+            case ForwardedReply() as message:
+                return self.router.on_forwarded_reply(now, cluster_time, sender, message)
+            case Ping() | Ack() as message:
+                if message.wall > 0.0:
+                    self.clock.observe(sender, message.wall - wall)
+                return self._feed_membership(now, wall, event)
+            case PingRequest() | Nack():
+                return self._feed_membership(now, wall, event)
+            case IdentityQuery() | Announce() | ClusterFounded():
+                return self._feed_bootstrap(now, event)
+        return []
+
+    def _handle_local(
+        self,
+        now: float,
+        wall: float,
+        cluster_time: float,
+        event: RecordsPersisted | StorageFailure | ClusterCall | LeaveCluster | Tick,
+    ) -> list[Effect]:
         match event:
-            case MessageReceived(message=GroupMessage() as message):
-                if self.bootstrap.record is not None and self._replica(now, message.group) is not None:
-                    effects += self._feed(now, message.group, event)
-            case MessageReceived(sender=sender, message=ForwardedCall() as message):
-                effects += self._forwarded(now, wall, sender, message)
-            case MessageReceived(sender=sender, message=ForwardedReply() as message):
-                effects += self._replied(now, wall, sender, message)
-            case MessageReceived(sender=sender, message=Ping() | Ack() | PingRequest() | Nack() as message):
-                if isinstance(message, Ping | Ack) and message.wall > 0.0:
-                    self._clocks(sender, message.wall - raw)
-                effects += self._gossip(raw, self.membership.handle(now, event))
-                self.due = min(self.due, self.membership.due)
-            case MessageReceived(message=IdentityQuery() | Announce() | ClusterFounded()):
-                effects += self._founded(now, event)
             case RecordsPersisted(group=group):
                 if group == BOOTSTRAP_GROUP:
-                    effects += self._founded(now, event)
-                elif group in self.replicas:
-                    effects += self._feed(now, group, event)
-            case StorageFailure(error=error):
-                self._broken = self._broken or error
-                effects.append(LogEvent("error", "promises nothing more", {"error": str(error)}))
-                effects += self._founded(now, event)
-                for group in self.replicas:
-                    effects += self._feed(now, group, event)
+                    return self._feed_bootstrap(now, event)
+                return self.host.feed(now, group, event) if group in self.replicas else []
+            case StorageFailure():
+                return self._fail_storage(now, event)
             case ClusterCall(token=token, command=command):
-                effects += self._ask(
-                    now, wall, command, lambda at, result: [OperationCompleted(token, result)]
-                )
+                return self.router.call(now, cluster_time, command, _completing(token))
             case LeaveCluster(token=token):
-                self._leaving = token, now + 2 * self._timings.election_ms
-                effects += self._gossip(raw, self.membership.leave())
-                for group, replica in self.replicas.items():
-                    if replica.leading:
-                        effects += self._feed(now, group, TransferLeadership())
+                return self._leave(now, wall, token)
             case Tick():
-                pass
-        if isinstance(event, Tick) or now >= self.due or self._leaving is not None:
-            effects += self._tick(now, raw, raw + self.clock_offset_ms)
+                return []
+
+    def _fail_storage(self, now: float, event: StorageFailure) -> list[Effect]:
+        """Every replica here stops promising anything."""
+        self._storage_error = self._storage_error or event.error
+        effects: list[Effect] = [
+            LogEvent("error", "promises nothing more", {"error": str(event.error)}),
+            *self._feed_bootstrap(now, event),
+        ]
+        for group in self.replicas:
+            effects += self.host.feed(now, group, event)
         return effects
 
-    def _clocks(self, sender: MemberId, ahead: float) -> None:
-        """Another's wall clock is so far ahead of this one's: the fleet goes by the clock in the middle.
+    def _leave(self, now: float, wall: float, token: str) -> list[Effect]:
+        deadline = now + LEAVE_TIMEOUT_ELECTIONS * self.setup.timings.election_ms
+        self._departure, self.host.is_leaving = (token, deadline), True
+        effects = _with_wall_clock(wall, self.membership.leave())
+        return effects + self.host.transfer_all_leadership(now)
 
-        One that was set wrong, or a machine that started with it, must not carry the groups' time away.
-        """
-        if member_name(sender) in self._halls:
-            self._ahead[member_name(sender)] = ahead
-            middle = sorted([0.0, *self._ahead.values()])
-            self.clock_offset_ms = middle[
-                (len(middle) - 1) // 2
-            ]  # of two the one behind: a group's time goes on, never back
-            self._timed = 2 * len(middle) > len(self._halls)
-
-    @staticmethod
-    def _gossip(raw: float, effects: Iterable[SendMessage | LogEvent]) -> list[Effect]:
-        """What membership sends, with this machine's clock in it."""
-        return [
-            SendMessage(effect.to, msgspec.structs.replace(effect.message, wall=raw))
-            if isinstance(effect, SendMessage) and isinstance(effect.message, Ping | Ack)
-            else effect
-            for effect in effects
-        ]
+    def _feed_membership(self, now: float, wall: float, event: Tick | MessageReceived) -> list[Effect]:
+        effects = _with_wall_clock(wall, self.membership.handle(now, event))
+        self._timers.bring_forward(self.membership.due)
+        return effects
 
-    def _founded(
+    def _feed_bootstrap(
         self, now: float, event: Tick | MessageReceived | RecordsPersisted | StorageFailure
     ) -> list[Effect]:
-        known = self.bootstrap.record
         effects: list[Effect] = list(self.bootstrap.handle(now, event))
-        self.due = min(self.due, self.bootstrap.due)
-        if known is None and self.bootstrap.record is not None:
-            self._open(now)
+        self._timers.bring_forward(self.bootstrap.due)
+        self._open_if_bootstrapped(now)
         return effects
 
-    def _eager(self) -> float:
-        """When a holder wants to be polled before its usual time."""
-        if self.bootstrap.record is None:
-            return math.inf
-        return min([getattr(holder, "due", math.inf) for holder in self.lease_clients], default=math.inf)
+    def _open_if_bootstrapped(self, now: float) -> None:
+        record = self.bootstrap.record
+        if record is not None and self.host.record is None:
+            self.membership.learn_ids(member for member, _ in record.members)
+            self.host.open(now, record)
 
-    @staticmethod
-    def _next(now: float, step: float) -> float:
-        """What comes again and again comes at multiples of its step, as heartbeats do: one waking serves
-        all."""
-        return (now // step + 1.0) * step
+    # Time
 
-    def _tick(self, now: float, raw: float, wall: float) -> list[Effect]:
+    def _tick(self, now: float, wall: float) -> list[Effect]:
+        """Do all that is due, and find when the next Tick has to come."""
+        cluster_time = wall + self.clock.offset_ms
         effects: list[Effect] = []
         if self.bootstrap.due <= now:
-            effects += self._founded(now, Tick())
+            effects += self._feed_bootstrap(now, Tick())
         if self.membership.due <= now:
-            effects += self._gossip(raw, self.membership.handle(now, Tick()))
+            effects += self._feed_membership(now, wall, Tick())
         for group, replica in list(self.replicas.items()):
             if replica.due <= now:
-                effects += self._feed(now, group, Tick())
-        for token, call in list(self._calls.items()):
-            if call.until <= now:
-                del self._calls[token]
-                nobody = call.last or NoLeader(call.group, "none was found in time")
-                effects += call.answer(now, self._final(call, nobody))
-            elif call.again <= now:
-                effects += self._try(now, wall, token, call)
-        if self._work_at <= now and self.bootstrap.record is not None:
-            self._work_at = self._next(now, self._timings.heartbeat_ms)
-            for group, replica in list(self.replicas.items()):
-                if replica.leading and self._leaving is None:
-                    effects += self._work(now, wall, group, replica)
-                    if self.avoid_leadership:
-                        effects += self._feed(now, group, TransferLeadership())
-            if self._places_at <= now:
-                self._places_at = self._next(now, PLACES_MS)
-                if not self._well():
-                    self._unwell_at = now
-                if now - self._unwell_at < WELL_MS or self._read_at + CALM_MS <= now + 1.0:
-                    effects += self._read_places(now, wall)
-        if self._poll_at <= now or self._eager() <= now:
-            self._poll_at = self._next(now, POLL_MS)
-            if self.bootstrap.record is not None:
-                for holder in self.lease_clients:
-                    for command in holder.poll(now, wall):
-                        effects += self._ask(now, wall, command, self._holder_answer(holder, command))
-                        if command.reads and not command.key() and now - self._read_at >= CALM_MS / 2.0:
-                            effects += self._read_places(now, wall)
-        if self._leaving is not None:
-            token, until = self._leaving
-            if until <= now or not any(
-                replica.leading and len(replica.config.voters) > 1 for replica in self.replicas.values()
-            ):
-                self._leaving = None
-                effects.append(OperationCompleted(token, None))
-        self.due = min(
-            [
-                self._work_at,
-                self._poll_at,
-                self.bootstrap.due,
-                self.membership.due,
-                self._eager(),
-                *(replica.due for replica in self.replicas.values()),
-                *(min(call.until, call.again) for call in self._calls.values()),
-            ]
-        )
+                effects += self.host.feed(now, group, Tick())
+        effects += self.router.run_timers(now, cluster_time)
+        if self._timers.leader_tasks_at <= now and self.host.record is not None:
+            effects += self._run_leader_tasks(now, cluster_time)
+        if self._timers.poll_at <= now or self._lease_clients_due() <= now:
+            effects += self._poll_lease_clients(now, cluster_time)
+        effects += self._finish_departure(now)
+        self._timers.due_at = self._next_due()
         return effects
 
-    @staticmethod
-    def _holder_answer(
-        holder: LeaseClient, command: Command
-    ) -> Callable[[float, ApplyResult | ClusterError], list[Effect]]:
-        def answer(now: float, result: ApplyResult | ClusterError) -> list[Effect]:
-            holder.answered(now, command, result)
-            return []
-
-        return answer
-
-    # Calls ------------------------------------------------------------------------------------------------
+    def _run_leader_tasks(self, now: float, cluster_time: float) -> list[Effect]:
+        self._timers.leader_tasks_at = next_multiple(now, self.setup.timings.heartbeat_ms)
+        effects: list[Effect] = []
+        for group, replica in list(self.replicas.items()):
+            if replica.leading and not self.host.is_leaving:
+                effects += self.leader_duties.propose(
+                    now, cluster_time, replica, self.load, self.connection_limits
+                )
+                if self.avoid_leadership:
+                    effects += self.host.feed(now, group, TransferLeadership())
+        return effects + self.placement_follower.run_timer(now, cluster_time)
 
-    def _token(self) -> str:
-        self._last += 1
-        return f"{self.me}:{self._begun}:{self._last}"
+    def _lease_clients_due(self) -> float:
+        """When a lease client wants to be polled before its usual time."""
+        if self.host.record is None:
+            return math.inf
+        return min((getattr(client, "due", math.inf) for client in self.lease_clients), default=math.inf)
 
-    def _ask(
-        self,
-        now: float,
-        wall: float,
-        command: Command,
-        answer: Callable[[float, ApplyResult | ClusterError], list[Effect]],
-    ) -> list[Effect]:
-        """Make a call: it is answered once, within `call_ms`."""
-        problem = command.validate()
-        if problem:
-            return answer(now, InvalidCall(command.id, problem))
-        if self.bootstrap.record is None:
-            return answer(now, NoLeader(self.setup.cluster_name, "the fleet is not founded yet"))
-        if len(self._calls) >= MOST_CALLS:
-            return answer(now, Overloaded(self.me, f"{MOST_CALLS} calls have no answer yet"))
-        group = group_for_key(command.key(), self.bootstrap.record.group_count)
-        token = self._token()
-        call = self._calls[token] = _Call(command, group, now + self._timings.call_ms, answer, now)
-        self.due = min(self.due, now + PAUSE_MS)
-        return self._try(now, wall, token, call)
-
-    def _try(self, now: float, wall: float, token: str, call: _Call) -> list[Effect]:
-        """One try: at the replica here where it leads, else at whom it takes for the leader."""
-        call.again = now + self._timings.call_ms * TRY_PART
-        call.round += 1
-        replica = self.replicas.get(call.group)
-        if replica is not None and replica.leading:
-            number = self._number(call)
-            return self._take(
-                now, wall, call.group, call.command, lambda at, result: self._end(at, token, number, result)
-            )
-        to = self._leader(call.group, call.round)
-        if not to:
-            call.again = now + PAUSE_MS
+    def _poll_lease_clients(self, now: float, cluster_time: float) -> list[Effect]:
+        self._timers.poll_at = next_multiple(now, POLL_INTERVAL_MS)
+        if self.host.record is None:
             return []
-        return self._forward(wall, token, call, to)
-
-    @staticmethod
-    def _number(call: _Call) -> int:
-        """One more try."""
-        call.tries += 1
-        call.open[call.tries] = None
-        return call.tries
-
-    def _forward(self, wall: float, token: str, call: _Call, to: MemberId) -> list[Effect]:
-        return [
-            SendMessage(
-                to,
-                ForwardedCall(
-                    f"{token}.{self._number(call)}", call.group, encode_command(wall, call.command), MOST_HOPS
-                ),
-            )
-        ]
-
-    @staticmethod
-    def _final(call: _Call, result: ApplyResult | ClusterError) -> ApplyResult | ClusterError:
-        """What the caller is told: that nothing was taken, only where that is known of every try.
+        effects: list[Effect] = []
+        for client in self.lease_clients:
+            for command in client.poll(now, cluster_time):
+                effects += self.router.call(now, cluster_time, command, _answering(client, command))
+                if command.reads and not command.key():
+                    effects += self.placement_follower.read_along(now, cluster_time)
+        return effects
 
-        An answer out of the log speaks for all tries that were answered before: what they left in it stands
-        before.
-        """
-        refused = isinstance(result, ClusterError) or result.error is not None
-        maybe = call.open or (call.maybe and isinstance(result, ClusterError))
-        if refused and maybe and not call.command.reads:
-            return UnknownOutcome(call.group, "no answer came to some try")
-        return result
-
-    def _leader(self, group: str, round_: int) -> MemberId:
-        """Whom to ask: the leader as this member's replica knows it, as last heard, else one copy after
-        the other."""
-        replica = self.replicas.get(group)
-        if replica is not None and replica.leader and replica.leader != self.me and round_ % 2 == 1:
-            return replica.leader
-        if round_ == 1 and self._routes.get(group) in self.membership.alive_ids():
-            return self._routes[group]
-        alive = {member_name(who): who for who in self.membership.alive_ids() if who != self.me}
-        others = [alive[name] for who in self._placed.get(group, ()) if (name := member_name(who)) in alive]
-        if not others or round_ % 4 >= 2:  # copies may have moved since this member last heard: whoever lives
-            others = sorted(alive.values())
-        return others[round_ % len(others)] if others else ""
-
-    def _end(self, now: float, token: str, number: int, result: ApplyResult | ClusterError) -> list[Effect]:
-        """What became of a try."""
-        call = self._calls.get(token)
-        if call is None:
-            return []  # it had its answer, or its time
-        call.open.pop(number, None)
-        if isinstance(result, NoLeader | Overloaded | UnknownOutcome | StorageFailed | InvariantBroken):
-            # It is made again: its id, or the order that it states, makes a repeat of what was taken
-            # harmless, and where a leader can promise nothing any more there will be another one.
-            call.last = result
-            call.maybe = call.maybe or isinstance(result, UnknownOutcome)
-            if (
-                number == call.tries
-            ):  # an earlier one without an answer, at a lost member, keeps nobody waiting
-                call.again = now + PAUSE_MS * self._draw.uniform(0.5, 1.5)
-                self.due = min(self.due, call.again)
+    def _finish_departure(self, now: float) -> list[Effect]:
+        """A graceful shutdown is complete once no group with other voters is led here, or its time is over."""
+        if self._departure is None:
             return []
-        if (
-            call.open
-            and (isinstance(result, ClusterError) or result.error is not None)
-            and not call.command.reads
-        ):
-            call.last = result if isinstance(result, ClusterError) else result.error
-            call.again = call.until  # another try of it is on its way and may yet be taken: its answer tells
+        token, deadline = self._departure
+        leads = any(replica.leading and len(replica.config.voters) > 1 for replica in self.replicas.values())
+        if leads and now < deadline:
             return []
-        del self._calls[token]
-        return call.answer(now, self._final(call, result))
-
-    def _take(
-        self,
-        now: float,
-        wall: float,
-        group: str,
-        command: Command,
-        answer: Callable[[float, ApplyResult | ClusterError], list[Effect]],
-    ) -> list[Effect]:
-        """Let the replica here, which leads, carry a command out."""
-        token = self._token()
-
-        def looked(at: float, result: Any) -> list[Effect]:
-            return answer(at, self.state_machines[group].query(command) if result is None else result)
-
-        self._ours[token] = looked if command.reads else answer
-        if command.reads:
-            return self._feed(now, group, ReadIndexRequest(token))
-        # Until a majority's clocks were heard the group's time stands still: this machine's may be anywhere.
-        return self._feed(
-            now, group, ProposeCommand(token, encode_command(wall if self._timed else 0.0, command))
+        self._departure, self.host.is_leaving = None, False
+        return [OperationCompleted(token, None)]
+
+    def _next_due(self) -> float:
+        return min(
+            self._timers.leader_tasks_at,
+            self._timers.poll_at,
+            self.bootstrap.due,
+            self.membership.due,
+            self._lease_clients_due(),
+            self.router.earliest_timer(),
+            *(replica.due for replica in self.replicas.values()),
         )
 
-    def _forwarded(self, now: float, wall: float, sender: MemberId, message: ForwardedCall) -> list[Effect]:
-        """A call of another member."""
-
-        def reply(at: float, result: ApplyResult | ClusterError) -> list[Effect]:
-            leader = self.replicas[message.group].leader if message.group in self.replicas else ""
-            body = msgspec.msgpack.encode(
-                [result, None, leader] if isinstance(result, ApplyResult) else [None, result, leader]
-            )
-            return [SendMessage(sender, ForwardedReply(message.token, body))]
-
-        try:
-            _, command = decode_command(message.body)
-        except msgspec.DecodeError as fault:
-            return reply(now, InvalidCall(message.group, str(fault)))
-        problem = command.validate()
-        if problem:
-            return reply(now, InvalidCall(command.id, problem))
-        replica = self.replicas.get(message.group)
-        if replica is None:
-            return reply(now, NoLeader(message.group, f"no copy at {self.setup.member_name}"))
-        if replica.leading:
-            return self._take(now, wall, message.group, command, reply)
-        return reply(now, NoLeader(message.group, f"not led by {self.setup.member_name}"))
-
-    def _replied(self, now: float, wall: float, sender: MemberId, message: ForwardedReply) -> list[Effect]:
-        token, _, digits = message.token.rpartition(".")
-        call = self._calls.get(token)
-        if call is None or not digits.isdecimal():
-            return []
-        try:
-            applied, error, leader = reply_decoder.decode(message.body)
-        except msgspec.DecodeError:
-            return []  # it is asked again, or ends as unknown
-        result = applied if applied is not None else error
-        if result is None:
-            return []
-        if leader:
-            self._routes[call.group] = leader
-        elif self._routes.get(call.group) == sender:
-            del self._routes[call.group]
-        number = int(digits)
-        if isinstance(result, NoLeader) and number == call.tries and leader not in ("", sender, self.me):
-            call.open.pop(number, None)
-            call.again = now + self._timings.call_ms * TRY_PART
-            return self._forward(wall, token, call, leader)
-        return self._end(now, token, number, result)
-
-    # A leader's work ----------------------------------------------------------------------------------------
-
-    def _view(self, now: float, wall: float, replica: RaftNode) -> LeaderView:
-        """What the parts of a group led here may look at."""
-        places, load = self._places, self.load
-        if replica.group == FLEET:
-            parts = self.state_machines[FLEET].parts
-            places = parts["placing"]
-            load = {**load, "promised": parts["contracts"].promised(wall, wall + parts["rolls"].horizon_ms())}
-        behind = {
-            group: held.lagging for group, held in places.groups.items() if held.lagging
-        }  # as leaders reported it
-        for group, made in self.replicas.items():
-            if made.leading:
-                behind[group] = made.behind() + self._late(now, group, made)
-        return LeaderView(
-            now,
-            wall,
-            self.me,
-            replica.lead_since,
-            self._timings,
-            self._living(),
-            self.membership.dead_for_ms(now),
-            self._halls,
-            load,
-            places.voters() or self._placed,
-            behind,
-        )
+    # For operators
 
-    def _living(self) -> frozenset[MemberId]:
-        """Whom this process has heard since its start, and does not believe dead: one just started knows
-        of nobody."""
-        return frozenset(who for who in self.membership.alive_ids() if who == self.me or who in self._met)
+    def status(self) -> dict[str, Any]:
+        """Members as believed, groups with leader, replicas and lag; whether this member promises anything.
 
-    def _work(self, now: float, wall: float, group: str, replica: RaftNode) -> list[Effect]:
-        """What the leader of a group has to see to."""
-        effects: list[Effect] = []
-        state = self.state_machines[group]
-        commands = state.leader_tasks(self._view(now, wall, replica))
-        if group != FLEET:
-            commands += self._limits(group, state)
-        for command in commands:
-            if command.id not in self._working and len(self._working) < MOST_CALLS // 4:
-                self._working[command.id] = None
-                effects += self._ask(now, wall, command, self._worked(command))
-        return effects
+        Plain data: its keys are those of the operators' call.
+        """
+        return {
+            "me": self.me,
+            "founded": self.bootstrap.record is not None,
+            "promises": "yes" if self._storage_error is None else str(self._storage_error),
+            "members": {member.name: self.membership.state_of(member.name) for member in self.setup.members},
+            "groups": {group: _replica_status(replica) for group, replica in self.replicas.items()},
+            "invariants_broken": [f"{rule.name}: {facts}" for rule, facts in self.rules.broken],
+        }
 
-    def _limits(self, group: str, state: GroupStateMachine) -> list[Command]:
-        """Servers whose limit the group does not know as this gateway does."""
-        assert self.bootstrap.record is not None
-        known, idle = state.parts["connections"].servers, self.setup.connection_idle_ms
-        return [
-            SetConnectionLimit(
-                id=f"limit/{server}/{most}/{known[server].parts.whole if server in known else 0:g}/{state.index}",
-                server=server,
-                most=most,
-                idle_ms=idle,
-            )
-            for server, most in self.connection_limits.items()
-            if (server not in known or known[server].parts.whole != most)
-            and group_for_key(bucket(server), self.bootstrap.record.group_count) == group
-        ]
 
-    def _worked(self, command: Command) -> Callable[[float, ApplyResult | ClusterError], list[Effect]]:
-        def answer(now: float, result: ApplyResult | ClusterError) -> list[Effect]:
-            self._working.pop(command.id, None)
-            return []
+def _replica_status(replica: RaftNode) -> dict[str, Any]:
+    return {
+        "leader": replica.leader,
+        "term": replica.term,
+        "commit": replica.commit,
+        "voters": list(replica.config.voters),
+        "learners": list(replica.config.learners),
+        "behind": list(replica.behind()) if replica.leading else None,
+    }
 
-        return answer
 
-    def _read_places(self, now: float, wall: float) -> list[Effect]:
-        """Hear now and then who copies what; where something is led here, bring its members in line with
-        it."""
-        leads = any(replica.leading for replica in self.replicas.values())
-        if self._reading or not (leads or self._heard_at <= now):
-            return []
-        self._heard_at = now + HEARD_MS
-        self._reading, self._read_at = True, now
+def _completing(token: str) -> ResultHandler:
+    """Completes an operation with a call's result."""
 
-        def read(at: float, result: ApplyResult | ClusterError) -> list[Effect]:
-            self._reading = False
-            if not isinstance(result, ApplyResult) or result.error is not None:
-                return []
-            self._places = PlacementDirectory(self._timings, self.rules)
-            self._places.load(result.value["state"])
-            self._placed = self._places.voters()
-            self.membership.learn_ids((who for who, _ in self._places.members.values()))
-            effects: list[Effect] = []
-            for group, replica in list(self.replicas.items()):
-                if replica.leading and group not in self._changing and self._leaving is None:
-                    effects += self._members(at, wall, group, replica)
-                    if group in self._places.moves:
-                        self._places_at = min(self._places_at, at + SOON_MS)
-            return effects
-
-        return self._ask(now, wall, ReadPlacement(id=self._token()), read)
-
-    def _well(self) -> bool:
-        """Whether all known members live, nothing moves, and nobody is behind: as last read, and in groups
-        led here."""
-        return (
-            not self._places.moves
-            and len(self.membership.alive_ids()) >= len(self._places.members)
-            and not any(held.lagging for held in self._places.groups.values())
-            and not any(
-                replica.leading and (replica.config.learners or replica.lagging())
-                for replica in self.replicas.values()
-            )
-        )
+    def on_result(now: float, result: CallResult) -> list[Effect]:
+        return [OperationCompleted(token, result)]
 
-    def _late(self, now: float, group: str, replica: RaftNode) -> tuple[MemberId, ...]:
-        """Voters that have long not caught up: not each lag is an entry in the fleet's log.  A leader that
-        has only just begun knows of none how long; it counts those of whom it has not heard yet."""
-        lagging = replica.lagging()
-        self._lags = {key: since for key, since in self._lags.items() if key[0] != group or key[1] in lagging}
-        fresh = now - replica.lead_since < LAGGING_AFTER_MS
-        return tuple(
-            who
-            for who in lagging
-            if now - self._lags.setdefault((group, who), now) >= LAGGING_AFTER_MS or fresh
-        )
+    return on_result
 
-    def _members(self, now: float, wall: float, group: str, replica: RaftNode) -> list[Effect]:
-        """One step of a change of members, or the report of how they stand."""
-        if replica.commit < replica.config_index:
-            return []
-        behind = replica.behind()
-        step = self._places.next_membership_change(group, replica.config, behind, self.membership.alive_ids())
-        if step is None:
-            report = self._places.configuration_report(
-                group, replica.config, replica.config_index, self._late(now, group, replica)
-            )
-            if report is None or report.id in self._working:
-                return []
-            self._working[report.id] = None
-            return self._ask(now, wall, report, self._worked(report))
-        if step.act == "remove" and step.who == self.me:
-            return self._feed(now, group, TransferLeadership())
-        token = self._token()
-        self._changing[group] = None
-
-        def changed(at: float, result: Any) -> list[Effect]:
-            self._changing.pop(group, None)
-            # The next step does not wait for its turn.
-            self._places_at = self._work_at = min(self._places_at, at + SOON_MS)
-            return []
 
-        self._ours[token] = changed
-        return self._feed(now, group, replace(step, token=token))
+def _answering(client: LeaseClient, command: Command) -> ResultHandler:
+    """Hands a call's result to the lease client that asked for it."""
 
-    # For operators ------------------------------------------------------------------------------------------
+    def on_result(now: float, result: CallResult) -> list[Effect]:
+        client.answered(now, command, result)
+        return []
 
-    def status(self) -> dict[str, Any]:
-        """Members as believed, groups with leader, copies and what is behind; whether this one promises."""
-        return {
-            "me": self.me,
-            "founded": self.bootstrap.record is not None,
-            "promises": "yes" if self._broken is None else str(self._broken),
-            "members": {name: self.membership.state_of(name) for name in self._halls},
-            "groups": {
-                group: {
-                    "leader": replica.leader,
-                    "term": replica.term,
-                    "commit": replica.commit,
-                    "voters": list(replica.config.voters),
-                    "learners": list(replica.config.learners),
-                    "behind": list(replica.behind()) if replica.leading else None,
-                }
-                for group, replica in self.replicas.items()
-            },
-            "invariants_broken": [f"{rule.name}: {facts}" for rule, facts in self.rules.broken],
-        }
+    return on_result
+
+
+def _with_wall_clock(wall: float, effects: Iterable[SendMessage | LogEvent]) -> list[Effect]:
+    """What membership sends, with this machine's wall clock in it."""
+    return [
+        SendMessage(effect.to, msgspec.structs.replace(effect.message, wall=wall))
+        if isinstance(effect, SendMessage) and isinstance(effect.message, Ping | Ack)
+        else effect
+        for effect in effects
+    ]
--- a/badgeryoke/cluster/node_setup.py
+++ b/badgeryoke/cluster/node_setup.py
@@ -10,6 +10,7 @@
 from badgeryoke.cluster.state_machine.part import ApplyResult, Command
 from badgeryoke.cluster.timings import Timings
 
+ANY_SERVER = "*"  # in `NodeSetup.connection_limits`: each server that is not named
 BOOTSTRAP_GROUP = ""  # the group under which a store keeps the founding record, as a Snapshot's body
 
 
--- a/badgeryoke/cluster/placement/directory.py
+++ b/badgeryoke/cluster/placement/directory.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from badgeryoke.cluster.bootstrap import MAX_MEMBERS, BootstrapRecord
+from badgeryoke.cluster.bootstrap_record import MAX_MEMBERS, BootstrapRecord
 from badgeryoke.cluster.errors import InvalidCall, NotFound, Overloaded, StaleIncarnation, WrongState
 from badgeryoke.cluster.events import ChangeMembership
 from badgeryoke.cluster.invariants import Invariants, Rule
--- a/badgeryoke/cluster/placement/initial_placement.py
+++ b/badgeryoke/cluster/placement/initial_placement.py
@@ -4,7 +4,7 @@
 
 from collections import Counter
 
-from badgeryoke.cluster.bootstrap import BootstrapRecord
+from badgeryoke.cluster.bootstrap_record import BootstrapRecord
 from badgeryoke.cluster.messages import MemberId
 from badgeryoke.cluster.placement.rendezvous import group_name, rendezvous_score
 from badgeryoke.cluster.state_machine.part import FLEET
--- a/badgeryoke/gateway/cluster/node_driver.py
+++ b/badgeryoke/gateway/cluster/node_driver.py
@@ -33,7 +33,9 @@
 class Node(Protocol):
     """What is driven: `badgeryoke.cluster.node.ClusterNode`, or a stand-in."""
 
-    due: float  # when the next Tick has to come at the latest, ms of the monotonic clock
+    @property
+    def due(self) -> float:
+        """When the next Tick has to come at the latest, ms of the monotonic clock."""
 
     def handle(self, now: float, wall: float, event: NodeEvent) -> list[Effect]:
         """Take an event; monotonic and Unix time, ms."""
--- a/tests/cluster/test_behaviour_digests.py
+++ b/tests/cluster/test_behaviour_digests.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from badgeryoke.cluster.bootstrap import BootstrapRecord
+from badgeryoke.cluster.bootstrap_record import BootstrapRecord
 from badgeryoke.cluster.connection_limits import (
     MOST_LIMIT,
     ConnectionLeaseHolder,
--- a/tests/cluster/test_golden_cluster.py
+++ b/tests/cluster/test_golden_cluster.py
@@ -18,7 +18,8 @@
 import pytest
 
 from badgeryoke.cluster import key_value, messages, unreported_usage
-from badgeryoke.cluster.bootstrap import BootstrapRecord as FoundingRecord
+from badgeryoke.cluster.bootstrap_record import BootstrapRecord as FoundingRecord
+from badgeryoke.cluster.call_router import reply_decoder as forwarded_answers
 from badgeryoke.cluster.connection_limits import ConnectionLeaseRequest as ConnectionsAsk
 from badgeryoke.cluster.errors import AnyError, ClusterError
 from badgeryoke.cluster.events import (
@@ -34,7 +35,6 @@
 from badgeryoke.cluster.invariants import Invariants, Rule
 from badgeryoke.cluster.messages import AnyMessage, Message
 from badgeryoke.cluster.node import ClusterNode
-from badgeryoke.cluster.node import reply_decoder as forwarded_answers
 from badgeryoke.cluster.node_setup import NodeSetup
 from badgeryoke.cluster.placement import forced_recovery
 from badgeryoke.cluster.placement import state as placement_state
--- a/tests/cluster/test_membership.py
+++ b/tests/cluster/test_membership.py
@@ -14,7 +14,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from badgeryoke.cluster.bootstrap import Bootstrap, BootstrapRecord, decode_record
+from badgeryoke.cluster.bootstrap import Bootstrap
+from badgeryoke.cluster.bootstrap_record import BootstrapRecord, decode_record
 from badgeryoke.cluster.errors import ClusterMismatch, InvalidCall, Overloaded, StaleIncarnation
 from badgeryoke.cluster.events import (
     HardState,
--- a/tests/cluster/test_regressions.py
+++ b/tests/cluster/test_regressions.py
@@ -19,9 +19,9 @@
 import msgspec
 import pytest
 
-from badgeryoke.cluster import key_value, unreported_usage
-from badgeryoke.cluster import node as fleet_node
-from badgeryoke.cluster.bootstrap import Bootstrap, BootstrapRecord
+from badgeryoke.cluster import call_router, key_value, unreported_usage
+from badgeryoke.cluster.bootstrap import Bootstrap
+from badgeryoke.cluster.bootstrap_record import BootstrapRecord
 from badgeryoke.cluster.connection_limits import (
     CLOSING_MS,
     LEASES,
@@ -98,7 +98,7 @@
     TimeoutNow,
     member_name,
 )
-from badgeryoke.cluster.node import LAGGING_AFTER_MS, ClusterNode, Member, NodeSetup
+from badgeryoke.cluster.node import ClusterNode, Member, NodeSetup
 from badgeryoke.cluster.node_setup import BOOTSTRAP_GROUP
 from badgeryoke.cluster.placement.commands import EnrolMember, ReplaceReplica, ReplicaMoved
 from badgeryoke.cluster.placement.directory import PlacementDirectory
@@ -106,6 +106,7 @@
 from badgeryoke.cluster.placement.rendezvous import group_for_key
 from badgeryoke.cluster.placement.repair import is_overdue
 from badgeryoke.cluster.placement.state import GroupPlacement
+from badgeryoke.cluster.placement_follower import LAGGING_AFTER_MS
 from badgeryoke.cluster.raft.log import RaftLog, encode_config
 from badgeryoke.cluster.raft.node import MOST_BODY, MOST_HELD, MOST_SNAPSHOT, RaftNode, Role
 from badgeryoke.cluster.reservations import contract
@@ -761,7 +762,7 @@
 def test_an_answer_to_an_earlier_process_is_none_to_this_one_and_calls_are_bounded(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(fleet_node, "MOST_CALLS", 1)
+    monkeypatch.setattr(call_router, "MAX_PENDING_CALLS", 1)
     before, made = node(), node(draw=2)
     old = forwards(before.handle(1.0, 1e12, PUT))[0]
     assert forwards(made.handle(1.0, 1e12, PUT))
@@ -772,10 +773,10 @@
 
 def test_the_fleet_goes_by_the_middle_of_a_majoritys_clocks() -> None:
     made = node("abcde")
-    assert not made._timed
+    assert not made.clock.is_synchronized
     for who, wall in (("b/1", 1e12 + 3_600_000.0), ("c/1", 1e12 + 5.0), ("d/1", 1e12 + 9.0)):
         made.handle(1.0, 1e12, MessageReceived(who, Ping(1, "a/1", (), wall)))
-    assert made._timed and 0.0 <= made.clock_offset_ms <= 9.0
+    assert made.clock.is_synchronized and 0.0 <= made.clock.offset_ms <= 9.0
 
 
 def alone_and_leading(strict: bool) -> ClusterNode:
@@ -834,9 +835,11 @@
         lead_since=-1e9,
         lagging=lambda: ("b/1",),
     )
-    made._places.groups["g0"] = GroupPlacement(("a/1", "b/1"))
-    assert made._members(1.0, 1e12, "g0", stub) == []
-    assert made._late(1.0, "g0", stub) == () and made._late(LAGGING_AFTER_MS + 2.0, "g0", stub) == ("b/1",)
+    follower = made.placement_follower
+    follower.placement.groups["g0"] = GroupPlacement(("a/1", "b/1"))
+    assert follower.advance_group(1.0, 1e12, "g0", stub) == []
+    assert follower.lagging_for_long(1.0, "g0", stub) == ()
+    assert follower.lagging_for_long(LAGGING_AFTER_MS + 2.0, "g0", stub) == ("b/1",)
 
 
 class Yard(FleetWorld):
@@ -895,7 +898,10 @@
 def test_a_roll_sees_what_contracts_take() -> None:
     world = Yard()
     made = world.leads(FLEET).node
-    assert made is not None and "promised" in made._view(1.0, 1e12, made.replicas[FLEET]).load
+    assert (
+        made is not None
+        and "promised" in made.leader_duties.view(1.0, 1e12, made.replicas[FLEET], made.load).load
+    )
 
 
 # The store and the links
@@ -1938,4 +1944,4 @@
         Invariants(),
     )
     node.handle(1.0, 1e12, MessageReceived("b/1", Ping(1, "a/1", (), 1e12 + 3_600_000.0)))
-    assert not node._timed or node.clock_offset_ms < 1000.0
+    assert not node.clock.is_synchronized or node.clock.offset_ms < 1000.0
--- a/tests/support/cluster_samples.py
+++ b/tests/support/cluster_samples.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from badgeryoke.cluster import connection_limits, errors, key_value, messages, unreported_usage
-from badgeryoke.cluster.bootstrap import BootstrapRecord
+from badgeryoke.cluster.bootstrap_record import BootstrapRecord
 from badgeryoke.cluster.placement import commands as placement_commands
 from badgeryoke.cluster.placement import state as placement_state
 from badgeryoke.cluster.raft.log import encode_config
