--- a/badgeryoke/cluster/errors.py
+++ b/badgeryoke/cluster/errors.py
@@ -1,7 +1,7 @@
-"""What can go wrong with what the fleet shares, each kind a type of its own that says what an operator can
-do.
+"""What can go wrong with what the cluster shares, each kind a type of its own that says what an operator can do.
 
-Errors are values.  `docs/operators/errors.md` holds the same table; a test keeps both in step.
+Errors are values, stored in logs and sent to other members by their tags and field names.  `docs/operators/errors.md`
+holds the same table of codes, meanings and remedies; a test keeps both in step.
 """
 
 from __future__ import annotations
@@ -12,55 +12,62 @@
 
 
 class ClusterError(msgspec.Struct, frozen=True, tag_field="error"):
-    """What happened, and to whom (a group, a member, a contract, a key)."""
+    """Any error: `detail` is what happened, `subject` to whom (a group, a member, a contract, a key).
+
+    Both are stored and sent under their earlier names.
+    """
 
     subject: str = msgspec.field(name="whom")
     detail: str = msgspec.field(name="what")
 
-    code: ClassVar[str] = ""
-    do: ClassVar[str] = ""  # what an operator can do
-    retry: ClassVar[bool] = False  # whether the same call with the same id may be made again at once
+    code: ClassVar[str] = ""  # the tag, as operators see it
+    remedy: ClassVar[str] = ""  # what an operator can do
+    is_retryable: ClassVar[bool] = False  # whether the same call with the same id may be made again at once
 
     def __str__(self) -> str:
-        return f"{self.code}: {self.subject}: {self.detail}; {self.do}"
+        return f"{self.code}: {self.subject}: {self.detail}; {self.remedy}"
 
 
 class InvalidCall(ClusterError, frozen=True, tag="bad-call"):
     """A call that names an unknown key, or a value out of its bounds."""
 
     code = "bad-call"
-    do = "Mend the key that is named and call again."
+    remedy = "Mend the key that is named and call again."
 
 
 class NoLeader(ClusterError, frozen=True, tag="no-leader"):
     """No leader of the group is known; nothing was taken."""
 
     code = "no-leader"
-    do = "Wait two seconds and call again; if it lasts, see whether a majority of the group's members runs."
-    retry = True
+    remedy = (
+        "Wait two seconds and call again; if it lasts, see whether a majority of the group's members runs."
+    )
+    is_retryable = True
 
 
 class UnknownOutcome(ClusterError, frozen=True, tag="unknown-outcome"):
     """The call went out and no answer came: it may have been taken, or may yet be."""
 
     code = "unknown-outcome"
-    do = "Make the same call with the same id: it is not taken twice, and its answer tells what became of it."
-    retry = True
+    remedy = (
+        "Make the same call with the same id: it is not taken twice, and its answer tells what became of it."
+    )
+    is_retryable = True
 
 
 class Overloaded(ClusterError, frozen=True, tag="crowded"):
     """A bound on calls, entries or state is reached; nothing was taken."""
 
     code = "crowded"
-    do = "Call again later and less often; if it lasts, see which group leads too much."
-    retry = True
+    remedy = "Call again later and less often; if it lasts, see which group leads too much."
+    is_retryable = True
 
 
 class MajorityLost(ClusterError, frozen=True, tag="majority-lost"):
     """Too few copies of a group are left to acknowledge anything."""
 
     code = "majority-lost"
-    do = (
+    remedy = (
         "Bring the lost machines back with their disks. Where the disks are gone for good, see 'A group that has "
         "lost its majority' on the operators' page."
     )
@@ -70,21 +77,21 @@
     """A member came back without its store, or with a damaged one: it votes and acknowledges nothing yet."""
 
     code = "new-incarnation"
-    do = "Nothing: it is taken in as a newcomer and counts once it has caught up. See to its disk."
+    remedy = "Nothing: it is taken in as a newcomer and counts once it has caught up. See to its disk."
 
 
 class StaleIncarnation(ClusterError, frozen=True, tag="stale-incarnation"):
     """A message from, or to, a member as it was before it lost its store."""
 
     code = "stale-incarnation"
-    do = "See that no two processes run under one name."
+    remedy = "See that no two processes run under one name."
 
 
 class ClusterMismatch(ClusterError, frozen=True, tag="another-fleet"):
     """A peer that belongs to a fleet of another name or another founding."""
 
     code = "another-fleet"
-    do = (
+    remedy = (
         "Compare [fleet] name and members on both machines; a folder from another fleet has to be moved away."
     )
 
@@ -93,28 +100,30 @@
     """A frame that cannot be read: unknown, too long, or of another version.  The link ends."""
 
     code = "bad-frame"
-    do = "See that both run versions that know each other; otherwise look at what else calls that address."
+    remedy = (
+        "See that both run versions that know each other; otherwise look at what else calls that address."
+    )
 
 
 class StorageFailed(ClusterError, frozen=True, tag="store-failed"):
     """The store cannot be written: this member promises nothing more; requests go on."""
 
     code = "store-failed"
-    do = "Free the disk or replace it, then start the gateway again."
+    remedy = "Free the disk or replace it, then start the gateway again."
 
 
 class StorageDamaged(ClusterError, frozen=True, tag="store-damaged"):
     """The store does not read as it was written: the member comes back as a newcomer."""
 
     code = "store-damaged"
-    do = "See to the disk; the damaged file is kept beside the new one."
+    remedy = "See to the disk; the damaged file is kept beside the new one."
 
 
 class InsufficientCapacity(ClusterError, frozen=True, tag="no-room"):
     """What is asked for does not fit in what the fleet can carry."""
 
     code = "no-room"
-    do = "Ask for what fits, or for the time from which it does; or add servers."
+    remedy = "Ask for what fits, or for the time from which it does; or add servers."
     fits: float = 0.0  # in the unit asked for
     fits_from_ms: float = 0.0  # Unix ms; 0: never within the bounds
 
@@ -123,35 +132,35 @@
     """No contract, lease, roll or member of that name is known."""
 
     code = "not-there"
-    do = "Read the list of what there is, and call again with a name from it."
+    remedy = "Read the list of what there is, and call again with a name from it."
 
 
 class WrongState(ClusterError, frozen=True, tag="wrong-state"):
     """It stands where this step is not possible."""
 
     code = "wrong-state"
-    do = "Read its state first; the operators' page says which steps each state allows."
+    remedy = "Read its state first; the operators' page says which steps each state allows."
 
 
 class DuplicateId(ClusterError, frozen=True, tag="taken-id"):
     """The id was used for another call."""
 
     code = "taken-id"
-    do = "Call with an id of its own."
+    remedy = "Call with an id of its own."
 
 
 class LeaseExpired(ClusterError, frozen=True, tag="lease-over"):
     """A lease that has ended, or moved on meanwhile: nothing is held under it."""
 
     code = "lease-over"
-    do = "Nothing: the holder asks anew. If it happens often, look for slow links or a frozen process."
+    remedy = "Nothing: the holder asks anew. If it happens often, look for slow links or a frozen process."
 
 
 class InvariantBroken(ClusterError, frozen=True, tag="invariant-broken"):
     """A rule of the code itself does not hold: the part concerned has stopped promising."""
 
     code = "invariant-broken"
-    do = "Keep the log and the store's folder, and start this gateway again; report it with both."
+    remedy = "Keep the log and the store's folder, and start this gateway again; report it with both."
 
 
 ALL_ERRORS: tuple[type[ClusterError], ...] = (
--- a/badgeryoke/cluster/invariants.py
+++ b/badgeryoke/cluster/invariants.py
@@ -1,6 +1,6 @@
 """Rules that the code itself has to keep, each named and stated once, checked where state changes.
 
-In tests and the laboratory a broken one raises `Broken` with the facts.  In service it is noted: the part it
+In tests and the testbed a broken one raises `InvariantViolation` with the facts.  In service it is recorded: the part it
 concerns stops promising and says so, and requests go on.
 """
 
@@ -33,7 +33,7 @@
 
 
 class InvariantViolation(AssertionError):
-    """A rule that does not hold, in tests and the laboratory."""
+    """A rule that does not hold, in tests and the testbed."""
 
     def __init__(self, rule: Rule, facts: str) -> None:
         super().__init__(f"{rule.name}: {rule.value}: {facts}")
@@ -41,28 +41,29 @@
 
 
 class Invariants:
-    """Checks of one process.  `strict`: raise `Broken`; else keep the rule in `broken` and tell `noted`.
+    """Checks of one process.
 
-    `facts` is called only where the rule does not hold, so that a check that holds costs a comparison.
+    `strict`: raise `InvariantViolation`; else keep the rule in `broken` and call `on_broken` with it and the facts.
+    `count` is how often a rule was broken.
     """
 
-    MAX_RECORDED = 64  # kept; further ones are counted alone
+    MAX_RECORDED = 64  # broken rules kept in `broken`; further ones are only counted
 
-    def __init__(self, strict: bool = True, noted: Callable[[Rule, str], None] | None = None) -> None:
-        self._strict, self._noted = strict, noted
+    def __init__(self, strict: bool = True, on_broken: Callable[[Rule, str], None] | None = None) -> None:
+        self._strict, self._on_broken = strict, on_broken
         self.broken: list[tuple[Rule, str]] = []
         self.count = 0
 
     def check(self, rule: Rule, holds: bool, facts: Callable[[], str]) -> bool:
-        """Whether the rule holds here."""
+        """Whether the rule holds here; `facts` is called only where it does not, so that a check is cheap."""
         if holds:
             return True
         self.count += 1
-        said = facts()
+        text = facts()
         if len(self.broken) < self.MAX_RECORDED:
-            self.broken.append((rule, said))
-        if self._noted is not None:
-            self._noted(rule, said)
+            self.broken.append((rule, text))
+        if self._on_broken is not None:
+            self._on_broken(rule, text)
         if self._strict:
-            raise InvariantViolation(rule, said)
+            raise InvariantViolation(rule, text)
         return False
--- /dev/null
+++ b/badgeryoke/cluster/state_machine/command_registry.py
@@ -0,0 +1,108 @@
+"""Which part of the state machine takes which command, and the stored form of commands."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from functools import cached_property, reduce
+from operator import or_
+from typing import Any
+
+import msgspec
+
+from badgeryoke.cluster import connection_limits, key_value, unreported_usage
+from badgeryoke.cluster.errors import InvalidCall
+from badgeryoke.cluster.invariants import Invariants
+from badgeryoke.cluster.placement import commands as placement_commands
+from badgeryoke.cluster.placement import directory
+from badgeryoke.cluster.reservations import contract
+from badgeryoke.cluster.rolling_restart import restart
+from badgeryoke.cluster.state_machine.part import Command, PartName
+from badgeryoke.cluster.timings import Timings
+
+MAX_NAMED_LENGTH = 64  # of an unknown command's name, in the error that quotes it
+
+# Makes an empty part.  A part takes only its own commands, so it cannot be typed by `StateMachinePart` here.
+PartFactory = Callable[[Timings, Invariants], Any]
+
+
+class CommandRegistry:
+    """Parts of the cluster's own group and of all other groups, with their commands."""
+
+    def __init__(self) -> None:
+        self.commands: dict[str, type[Command]] = {}  # by stored name
+        self.cluster_parts: dict[PartName, PartFactory] = {}
+        self.group_parts: dict[PartName, PartFactory] = {}
+        self.part_of: dict[type[Command], PartName] = {}
+
+    def register_cluster_part(
+        self, name: PartName, commands: tuple[type[Command], ...], factory: PartFactory
+    ) -> None:
+        """Add a part of the cluster's own group; the order of parts is that of their tasks and snapshots."""
+        self.cluster_parts[name] = factory
+        self._add_commands(name, commands)
+
+    def register_group_part(
+        self, name: PartName, commands: tuple[type[Command], ...], factory: PartFactory
+    ) -> None:
+        """Add a part of all other groups."""
+        self.group_parts[name] = factory
+        self._add_commands(name, commands)
+
+    def _add_commands(self, name: PartName, commands: tuple[type[Command], ...]) -> None:
+        for command in commands:
+            self.commands[command.command_name()] = command
+            self.part_of[command] = name
+
+    @cached_property
+    def decoder(self) -> msgspec.msgpack.Decoder[tuple[float, Command]]:
+        """Reads an entry's body; made at its first use, when all commands are registered."""
+        union: Any = reduce(or_, self.commands.values())
+        return msgspec.msgpack.Decoder(tuple[float, union])
+
+
+REGISTRY = CommandRegistry()
+REGISTRY.register_group_part(
+    PartName.KEY_VALUE, key_value.COMMANDS, lambda timings, rules: key_value.KeyValueStore()
+)
+REGISTRY.register_cluster_part(PartName.PLACEMENT, placement_commands.COMMANDS, directory.PlacementDirectory)
+REGISTRY.register_cluster_part(PartName.CONTRACTS, contract.FLEET_COMMANDS, contract.ContractRegistry)
+REGISTRY.register_cluster_part(
+    PartName.ROLLING_RESTARTS, restart.COMMANDS, lambda timings, rules: restart.RollingRestarts(rules)
+)
+REGISTRY.register_group_part(PartName.GUARANTEED_RATES, contract.TENANT_COMMANDS, contract.GuaranteedRates)
+REGISTRY.register_group_part(
+    PartName.CONNECTION_LIMITS,
+    connection_limits.COMMANDS,
+    lambda timings, rules: connection_limits.ConnectionLimits(rules, timings),
+)
+REGISTRY.register_group_part(
+    PartName.UNREPORTED_USAGE,
+    unreported_usage.COMMANDS,
+    lambda timings, rules: unreported_usage.UnreportedUsage(),
+)
+
+_encoder = msgspec.msgpack.Encoder()
+
+
+def encode_command(at_ms: float, command: Command) -> bytes:
+    """An entry's body: the leader's time (Unix ms) and the command."""
+    return _encoder.encode([at_ms, command])
+
+
+def decode_command(body: bytes) -> tuple[float, Command]:
+    """The reverse of `encode_command`; raises msgspec.DecodeError for anything else."""
+    return REGISTRY.decoder.decode(body)
+
+
+def parse_command(name: str, fields: dict[str, Any]) -> Command | InvalidCall:
+    """A command from an operator's call, with its fields as read from JSON; checked."""
+    kind = REGISTRY.commands.get(name)
+    if kind is None:
+        known = ", ".join(sorted(REGISTRY.commands))
+        return InvalidCall(name[:MAX_NAMED_LENGTH], f"unknown; known are {known}")
+    try:
+        command = msgspec.convert(fields, kind)
+    except msgspec.ValidationError as fault:
+        return InvalidCall(name, str(fault).replace("`", ""))
+    problem = command.validate()
+    return InvalidCall(name, problem) if problem else command
--- a/badgeryoke/cluster/state_machine/machine.py
+++ b/badgeryoke/cluster/state_machine/machine.py
@@ -1,122 +1,36 @@
-"""What a group's log is applied to: its parts, the group's own time, and which ids were taken.
+"""What a group's log is applied to: its parts, the group's own time, and the answers to commands already applied.
 
-The fleet's own group holds admission, who copies what, and rolls; every other group holds what hashing gives
-it: floors of tenants, connections of servers, promises, units owed.
+The cluster's own group holds contracts, placement and rolling restarts; every other group holds what hashing gives it:
+guaranteed rates of tenants, connection limits of servers, key-value entries and unreported usage.
 """
 
 from __future__ import annotations
 
-import zlib
-from collections.abc import Callable
-from functools import reduce
-from operator import or_
 from typing import Any
 
 import msgspec
 
-from badgeryoke.cluster import connection_limits, key_value, unreported_usage
 from badgeryoke.cluster.errors import DuplicateId, InvalidCall
 from badgeryoke.cluster.invariants import Invariants, Rule
-from badgeryoke.cluster.placement import commands as placement_commands
-from badgeryoke.cluster.placement import directory
-from badgeryoke.cluster.reservations import contract
-from badgeryoke.cluster.rolling_restart import restart
+from badgeryoke.cluster.state_machine.command_registry import REGISTRY, decode_command
 from badgeryoke.cluster.state_machine.part import FLEET, ApplyResult, Command, LeaderView
+from badgeryoke.cluster.state_machine.remembered_answers import RememberedAnswers, command_checksum
 from badgeryoke.cluster.timings import Timings
 
-# of calls that are remembered with their answers; the oldest goes first, and then a repeat is new
-MAX_REMEMBERED_IDS = 8192
-MAX_REMEMBERED_ANSWER_BYTES = (
-    8 * 1024 * 1024
-)  # bytes of their answers, a part of what a snapshot takes: the oldest goes first, too
-MAX_COMMAND_BYTES = 256 * 1024
-
-
-class CommandRegistry:
-    """Which part takes which command, in the fleet's own group and in the others."""
-
-    def __init__(self) -> None:
-        self.commands: dict[str, type[Command]] = {}
-        self.cluster_parts: dict[str, Callable[[Timings, Invariants], Any]] = {}
-        self.group_parts: dict[str, Callable[[Timings, Invariants], Any]] = {}
-        self.part_of: dict[type[Command], str] = {}
-
-    def register(
-        self,
-        name: str,
-        commands: tuple[type[Command], ...],
-        make: Callable[[Timings, Invariants], Any],
-        own: bool,
-    ) -> None:
-        """Hang in a part under a name that snapshots go by."""
-        (self.cluster_parts if own else self.group_parts)[name] = make
-        for command in commands:
-            self.commands[command.command_name()] = command
-            self.part_of[command] = name
-
-
-REGISTRY = CommandRegistry()
-REGISTRY.register("promises", key_value.COMMANDS, lambda timings, rules: key_value.KeyValueStore(), False)
-REGISTRY.register("placing", placement_commands.COMMANDS, directory.PlacementDirectory, True)
-REGISTRY.register("contracts", contract.FLEET_COMMANDS, contract.ContractRegistry, True)
-REGISTRY.register("rolls", restart.COMMANDS, lambda timings, rules: restart.RollingRestarts(rules), True)
-REGISTRY.register("floors", contract.TENANT_COMMANDS, contract.GuaranteedRates, False)
-REGISTRY.register(
-    "connections",
-    connection_limits.COMMANDS,
-    lambda timings, rules: connection_limits.ConnectionLimits(rules, timings),
-    False,
-)
-REGISTRY.register(
-    "owed", unreported_usage.COMMANDS, lambda timings, rules: unreported_usage.UnreportedUsage(), False
-)
-
-_encoder = msgspec.msgpack.Encoder()
-_decoder: Any = None
-
-
-def encode_command(at_ms: float, command: Command) -> bytes:
-    """An entry's body: the leader's time, Unix ms, and the command."""
-    return _encoder.encode([at_ms, command])
-
-
-def decode_command(body: bytes) -> tuple[float, Command]:
-    """The reverse; raises msgspec.DecodeError."""
-    global _decoder
-    if _decoder is None:
-        union: Any = reduce(or_, REGISTRY.commands.values())
-        _decoder = msgspec.msgpack.Decoder(tuple[float, union])
-    made: tuple[float, Command] = _decoder.decode(body)
-    return made
-
-
-def parse_command(name: str, fields: dict[str, Any]) -> Command | InvalidCall:
-    """A command from an operator's words, checked."""
-    kind = REGISTRY.commands.get(name)
-    if kind is None:
-        return InvalidCall(name[:64], f"unknown; known are {', '.join(sorted(REGISTRY.commands))}")
-    try:
-        made = msgspec.convert(fields, kind)
-    except msgspec.ValidationError as fault:
-        return InvalidCall(name, str(fault).replace("`", ""))
-    problem = made.validate()
-    return InvalidCall(name, problem) if problem else made
-
 
 class GroupStateMachine:
-    """One group's state, as a replica's machine."""
+    """One group's state.  `at_ms` is the group's own time (Unix ms), `index` the last entry applied."""
 
     def __init__(self, group: str, timings: Timings, rules: Invariants) -> None:
         self.group, self._rules = group, rules
-        made = REGISTRY.cluster_parts if group == FLEET else REGISTRY.group_parts
-        self.parts: dict[str, Any] = {name: make(timings, rules) for name, make in made.items()}
-        self.at_ms = 0.0  # the group's own time, Unix ms
+        factories = REGISTRY.cluster_parts if group == FLEET else REGISTRY.group_parts
+        self.parts: dict[str, Any] = {name: make(timings, rules) for name, make in factories.items()}
+        self.at_ms = 0.0
         self.index = 0
-        self._ids: dict[str, tuple[int, bytes]] = {}  # of the command, and its answer
-        self._answers = 0  # bytes of them
+        self.answers = RememberedAnswers()
 
     def apply(self, now: float, index: int, body: bytes) -> ApplyResult:
-        """One entry.  Never raises but for a broken invariant."""
+        """Apply one entry; `now` is this machine's monotonic clock (ms).  Raises only for a broken invariant."""
         self._rules.check(
             Rule.APPLIED_ONCE, index > self.index, lambda: f"{self.group}: {index} after {self.index}"
         )
@@ -126,65 +40,53 @@
         except msgspec.DecodeError as fault:
             return ApplyResult(error=InvalidCall(self.group, f"an entry that cannot be read: {fault}"))
         self.at_ms = max(self.at_ms, at_ms)
-        crc = zlib.crc32(_encoder.encode(command))
-        if command.once and (known := self._ids.get(command.id)) is not None:
-            if known[0] != crc:
+        checksum = command_checksum(command)
+        if command.once and (remembered := self.answers.get(command.id)) is not None:
+            if remembered.checksum != checksum:
                 return ApplyResult(error=DuplicateId(command.id, "another call has it"))
-            return msgspec.msgpack.decode(known[1], type=ApplyResult)
-        part = self.parts.get(REGISTRY.part_of[type(command)])
+            return remembered.result()
+        return self._apply_new(now, command, checksum)
+
+    def _apply_new(self, now: float, command: Command, checksum: int) -> ApplyResult:
+        part = self._part_for(command)
         if part is None:
-            return ApplyResult(
-                error=InvalidCall(command.id, f"{command.command_name()} is not for group {self.group}")
-            )
+            return self._not_for_group(command)
         result: ApplyResult = part.apply(self.at_ms, command)
         part.seen(now)
-        if command.once and result.error is None:  # what was refused changed nothing, and may be asked again
-            self._rules.check(Rule.ID_ONCE, command.id not in self._ids, lambda: command.id)
-            answer = _encoder.encode(result)
-            self._ids[command.id] = crc, answer
-            self._answers += len(answer)
-            self._forget()
+        if command.once and result.error is None:  # what was rejected changed nothing, and may be retried
+            self._rules.check(Rule.ID_ONCE, command.id not in self.answers, lambda: command.id)
+            self.answers.add(command.id, checksum, result)
         return result
 
-    def _forget(self) -> None:
-        """The oldest answers, beyond the bounds.  What is left depends on the order of calls alone, so
-        that all copies forget the same, and one that was restored as well: from an older build's snapshot
-        there may be too many."""
-        while len(self._ids) > MAX_REMEMBERED_IDS or self._answers > MAX_REMEMBERED_ANSWER_BYTES:
-            self._answers -= len(self._ids.pop(next(iter(self._ids)))[1])
+    def _part_for(self, command: Command) -> Any:
+        """The part that takes a command; None where this group has none."""
+        return self.parts.get(REGISTRY.part_of[type(command)])
+
+    def _not_for_group(self, command: Command) -> ApplyResult:
+        detail = f"{command.command_name()} is not for group {self.group}"
+        return ApplyResult(error=InvalidCall(command.id, detail))
 
     def query(self, command: Command) -> ApplyResult:
         """Answer a command that only reads."""
-        part = self.parts.get(REGISTRY.part_of[type(command)])
+        part = self._part_for(command)
         if part is None or not command.reads:
-            return ApplyResult(
-                error=InvalidCall(command.id, f"{command.command_name()} is not for group {self.group}")
-            )
-        found: ApplyResult = part.query(command)
-        return found
+            return self._not_for_group(command)
+        result: ApplyResult = part.query(command)
+        return result
 
     def leader_tasks(self, view: LeaderView) -> list[Command]:
         """What the leader has to propose now."""
         return [command for part in self.parts.values() for command in part.leader_tasks(view)]
 
     def dump(self) -> bytes:
-        """A snapshot."""
-        return _encoder.encode(
-            [
-                self.at_ms,
-                self.index,
-                [[name, *known] for name, known in self._ids.items()],
-                {name: part.dump() for name, part in self.parts.items()},
-            ]
-        )
+        """A snapshot, in MessagePack."""
+        parts = {name: part.dump() for name, part in self.parts.items()}
+        return msgspec.msgpack.encode([self.at_ms, self.index, self.answers.dump(), parts])
 
     def restore(self, now: float, body: bytes) -> None:
-        """From a snapshot."""
-        at_ms, index, ids, parts = msgspec.msgpack.decode(body)
-        self.at_ms, self.index = at_ms, index
-        self._ids = {name: (crc, answer) for name, crc, answer in ids}
-        self._answers = sum(len(answer) for _, answer in self._ids.values())
-        self._forget()
+        """Replace all by a snapshot; a part that an older version did not know keeps what it has."""
+        self.at_ms, self.index, answers, parts = msgspec.msgpack.decode(body)
+        self.answers.restore(answers)
         for name, part in self.parts.items():
             if name in parts:
                 part.load(parts[name])
--- a/badgeryoke/cluster/state_machine/part.py
+++ b/badgeryoke/cluster/state_machine/part.py
@@ -1,13 +1,14 @@
-"""A part of what a group's log is applied to, and the work that the group's leader does for it.
+"""A part of the state that a group's log is applied to, and the tasks of the group's leader for it.
 
-Applying is the same at every copy: it knows no clock but `at_ms` (the group's own, Unix ms, which never goes
-back) and no chance.  What depends on a machine's own clock (that a lease is over) is proposed as a command by
+Applying is the same at every replica: it knows no clock but `at_ms` (the group's own time, Unix ms, which never goes
+back) and no randomness.  What depends on a machine's own clock (that a lease has expired) is proposed as a command by
 the leader.
 """
 
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import StrEnum
 from typing import Any, ClassVar, Protocol
 
 import msgspec
@@ -16,15 +17,27 @@
 from badgeryoke.cluster.messages import MemberId
 from badgeryoke.cluster.timings import Timings
 
-FLEET = "fleet"  # the one group for the whole fleet: admission, who copies what, rolls
+FLEET = "fleet"  # the name of the cluster's own group: contracts, placement, rolling restarts
+
+
+class PartName(StrEnum):
+    """The parts, by the names that snapshots hold."""
+
+    KEY_VALUE = "promises"
+    PLACEMENT = "placing"
+    CONTRACTS = "contracts"
+    ROLLING_RESTARTS = "rolls"
+    GUARANTEED_RATES = "floors"
+    CONNECTION_LIMITS = "connections"
+    UNREPORTED_USAGE = "owed"
 
 
 class Command(msgspec.Struct, frozen=True, tag=True, kw_only=True):
     """One entry's content.  The same `id` again is answered as the first time and changes nothing."""
 
-    # changes nothing: answered by `Part.look` once the leader knows that it leads
+    # Changes nothing: answered by `query` once the leader has confirmed that it still leads.
     reads: ClassVar[bool] = False
-    # its id and answer are kept; not for those that state their own order (leases)
+    # Its id and answer are remembered; not for commands that state their own order (leases).
     once: ClassVar[bool] = True
 
     id: str
@@ -35,16 +48,16 @@
         return str(cls.__struct_config__.tag)
 
     def key(self) -> str:
-        """What decides the group: "" for the fleet's own, else "t:TENANT", "s:SERVER" or "p:PROMISE"."""
+        """What decides the group: "" for the cluster's own, else "t:TENANT", "s:SERVER" or "p:NAME"."""
         return ""
 
     def validate(self) -> str:
-        """The key at fault and what is wrong with it; empty where all is within bounds."""
+        """The field at fault and what is wrong with it; empty where all is within bounds."""
         return ""
 
 
 class ApplyResult(msgspec.Struct, frozen=True):
-    """What a command came to: `value` (plain data) or an error."""
+    """What a command came to: `value` (plain data, stored and sent as such) or an error."""
 
     value: Any = None
     error: AnyError | None = None
@@ -52,37 +65,44 @@
 
 @dataclass(frozen=True, slots=True)
 class LeaderView:
-    """What the leader's work may look at, beside the state.  `lead_since`: `now` when this one began to
-    lead and had applied all before."""
+    """What a leader's tasks may look at, beside the state."""
 
     now: float  # monotonic here, ms
-    wall: float  # Unix ms
+    wall: float  # the cluster's time, Unix ms
     me: MemberId
-    lead_since: float
+    lead_since: float  # `now` when this leader began, and had applied all before
     timings: Timings
     alive: frozenset[MemberId]  # by membership, as an opinion
-    dead_for_ms: dict[MemberId, float]  # ms since this member believes it dead
-    zones: dict[str, str]  # hall of each member's name
+    dead_for_ms: dict[MemberId, float]  # since this member believes it dead
+    zones: dict[str, str]  # the zone of each member's name
     load: dict[str, float]  # figures that the gateway knows: "capacity", "demand", ... (units a second)
-    groups: dict[str, tuple[MemberId, ...]]  # voters of each group, as the fleet's group has placed them
-    behind: dict[str, tuple[MemberId, ...]]  # learners of the groups led here that have not caught up yet
+    groups: dict[str, tuple[MemberId, ...]]  # voters of each group, as placed
+    behind: dict[str, tuple[MemberId, ...]]  # replicas of each group that have not caught up yet
 
 
 class StateMachinePart(Protocol):
-    """One part of a group's state."""
+    """One part of a group's state.
+
+    `command` is `Any` here because each part takes its own commands; the registry sees to it that it gets no other.
+    """
 
     def apply(self, at_ms: float, command: Any) -> ApplyResult:
-        """Take a command in.  Never raises; a faulty one comes back as an error and changes nothing."""
+        """Apply a command.  Never raises; a rejected one comes back as an error and changes nothing."""
+
+    def query(self, command: Any) -> ApplyResult:
+        """Answer a command that only reads."""
 
     def leader_tasks(self, view: LeaderView) -> list[Command]:
-        """Commands that the leader proposes now (for this group or, by their key, another); asked for every
-        heartbeat, so each has an id that makes a repeat harmless."""
+        """Commands that the leader proposes now, for this group or, by their key, another.
+
+        Asked for at every heartbeat, so each has an id that makes a repeat harmless.
+        """
 
     def seen(self, now: float) -> None:
-        """Applied entries up to here were seen at `now` by this machine's clock (for what ends by time)."""
+        """Note that applied entries up to here were seen at `now` by this machine's clock, for what expires."""
 
     def dump(self) -> Any:
         """All of it as plain data, for a snapshot."""
 
     def load(self, raw: Any) -> None:
-        """In place of all there is."""
+        """Replace all by what `dump` gave."""
--- a/badgeryoke/gateway/cluster/admin_calls.py
+++ b/badgeryoke/gateway/cluster/admin_calls.py
@@ -16,7 +16,7 @@
 import msgspec
 
 from badgeryoke.cluster.errors import ClusterError, InvalidCall
-from badgeryoke.cluster.state_machine.machine import REGISTRY
+from badgeryoke.cluster.state_machine.command_registry import REGISTRY
 from badgeryoke.cluster.state_machine.part import ApplyResult, Command
 
 MOST_CALL = 64 * 1024  # bytes of a line
@@ -112,7 +112,12 @@
     return (
         b"-ERR "
         + msgspec.json.encode(
-            {**msgspec.to_builtins(error), "error": error.code, "do": error.do, "retry": error.retry}
+            {
+                **msgspec.to_builtins(error),
+                "error": error.code,
+                "do": error.remedy,
+                "retry": error.is_retryable,
+            }
         )
         + b"\n"
     )
--- a/badgeryoke/gateway/cluster/service.py
+++ b/badgeryoke/gateway/cluster/service.py
@@ -94,7 +94,7 @@
         self.storage_failure: ClusterError | None = None
         self.transport: ClusterTransport | None = None
         self._node_factory: NodeFactory = node_factory or ClusterNode
-        self._invariants = Invariants(strict=False, noted=_log_broken_invariant)
+        self._invariants = Invariants(strict=False, on_broken=_log_broken_invariant)
         self._calls = PendingCalls(self.member)
         self._writer: StorageWriter | None = None
         self._driver: NodeDriver | None = None
--- a/badgeryoke/testbed/cluster_simulation/world.py
+++ b/badgeryoke/testbed/cluster_simulation/world.py
@@ -628,7 +628,7 @@
             return
         error = result.error if isinstance(result, ApplyResult) else result
         unknown = unknown or not isinstance(error, ClusterError) or error.code == "unknown-outcome"
-        if tries < MOST_TRIES and (error is None or error.retry) and not self.over:
+        if tries < MOST_TRIES and (error is None or error.is_retryable) and not self.over:
             up = [other for other, machine in self.machines.items() if machine.node is not None] or [name]
             self.calendar.at(
                 self.calendar.now + self.draw.uniform(20.0, 300.0),
--- a/tests/cluster/test_behaviour_digests.py
+++ b/tests/cluster/test_behaviour_digests.py
@@ -125,7 +125,8 @@
     StartWave,
     least_ms,
 )
-from badgeryoke.cluster.state_machine.machine import GroupStateMachine, encode_command, parse_command
+from badgeryoke.cluster.state_machine.command_registry import encode_command, parse_command
+from badgeryoke.cluster.state_machine.machine import GroupStateMachine
 from badgeryoke.cluster.state_machine.part import FLEET, Command, LeaderView
 from badgeryoke.cluster.timings import Timings, find_problems
 from badgeryoke.cluster.unreported_usage import (
--- a/tests/cluster/test_golden_cluster.py
+++ b/tests/cluster/test_golden_cluster.py
@@ -41,7 +41,8 @@
 from badgeryoke.cluster.placement.rendezvous import group_for_key
 from badgeryoke.cluster.reservations import contract
 from badgeryoke.cluster.rolling_restart import restart
-from badgeryoke.cluster.state_machine.machine import REGISTRY, GroupStateMachine, encode_command
+from badgeryoke.cluster.state_machine.command_registry import REGISTRY, encode_command
+from badgeryoke.cluster.state_machine.machine import GroupStateMachine
 from badgeryoke.cluster.state_machine.part import FLEET, ApplyResult, Command, LeaderView
 from badgeryoke.cluster.timings import Timings
 from badgeryoke.gateway.cluster.admin_calls import known, line_of, read_call
--- a/tests/cluster/test_regressions.py
+++ b/tests/cluster/test_regressions.py
@@ -135,8 +135,9 @@
     StartWave,
 )
 from badgeryoke.cluster.rolling_restart.restart import RestartState as RollState
-from badgeryoke.cluster.state_machine import machine as fleet_state
-from badgeryoke.cluster.state_machine.machine import GroupStateMachine, decode_command, encode_command
+from badgeryoke.cluster.state_machine import remembered_answers
+from badgeryoke.cluster.state_machine.command_registry import decode_command, encode_command
+from badgeryoke.cluster.state_machine.machine import GroupStateMachine
 from badgeryoke.cluster.state_machine.part import FLEET, ApplyResult, Command, LeaderView
 from badgeryoke.cluster.timings import Timings
 from badgeryoke.gateway.cluster.admin_calls import read_call
@@ -576,12 +577,12 @@
 def test_ids_answers_and_time_outlive_a_snapshot_and_the_oldest_id_goes_first(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(fleet_state, "MAX_REMEMBERED_IDS", 3)
+    monkeypatch.setattr(remembered_answers, "MAX_REMEMBERED_IDS", 3)
     made, other = state(), state()
     for number in range(4):
         assert put(made, number + 1, f"o{number}", "n", f"v{number}", 5000.0 - number).error is None
     assert made.at_ms == 5000.0  # time goes on, never back
-    assert list(made._ids) == ["o1", "o2", "o3"]
+    assert [command_id for command_id, _, _ in made.answers.dump()] == ["o1", "o2", "o3"]
     put(other, 1, "x", "gone", "v")
     other.restore(0.0, made.dump())
     assert other.at_ms == 5000.0 and other.dump() == made.dump()  # and nothing is left of what was there
@@ -1728,7 +1729,7 @@
             made.apply(0.0, index, encode_command(0.0, wide_promise(number % 100, f"again{number}"))).error
             is None
         )
-    assert len(made.dump()) + fleet_state.MAX_REMEMBERED_IDS * 4 * 128 < MOST_SNAPSHOT * 7 / 8
+    assert len(made.dump()) + remembered_answers.MAX_REMEMBERED_IDS * 4 * 128 < MOST_SNAPSHOT * 7 / 8
 
 
 def test_remembered_answers_are_bounded_in_bytes_and_all_copies_forget_the_same(
@@ -1752,18 +1753,19 @@
             (made, 4096),
             *(((older, 1 << 30),) if number < 20 else ((taken, 4096), (later, 4096))),
         ):
-            monkeypatch.setattr(fleet_state, "MAX_REMEMBERED_ANSWER_BYTES", most)
+            monkeypatch.setattr(remembered_answers, "MAX_REMEMBERED_ANSWER_BYTES", most)
             one.apply(0.0, number + 1, call(number))
-        monkeypatch.setattr(fleet_state, "MAX_REMEMBERED_ANSWER_BYTES", 4096)
-    assert sum(len(answer) for _, answer in made._ids.values()) <= 4096
-    assert 4 < len(made._ids) < 14 and "p39" in made._ids and taken.dump() == later.dump() == made.dump()
+        monkeypatch.setattr(remembered_answers, "MAX_REMEMBERED_ANSWER_BYTES", 4096)
+    remembered: list[Any] = made.answers.dump()
+    assert sum(len(answer) for _, _, answer in remembered) <= 4096
+    assert 4 < len(remembered) < 14 and "p39" in made.answers and taken.dump() == later.dump() == made.dump()
 
 
 def test_a_batch_that_comes_again_when_its_answer_is_forgotten_keeps_its_claim(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Else it could be claimed, and told to the counter, twice."""
-    monkeypatch.setattr(fleet_state, "MAX_REMEMBERED_IDS", 1)
+    monkeypatch.setattr(remembered_answers, "MAX_REMEMBERED_IDS", 1)
     made = state()
     made.apply(0.0, 1, encode_command(0.0, narrow_batch(1)))
     claim = unreported_usage.ClaimUsage(id="c", tenant="t", batch=narrow_batch(1).id, by="b/1")
--- a/tests/gateway/cluster/test_service.py
+++ b/tests/gateway/cluster/test_service.py
@@ -164,10 +164,15 @@
         re.M,
     )
     assert rows == [
-        (one.code, " ".join((one.__doc__ or "").split()).rstrip("."), one.do, "yes" if one.retry else "no")
+        (
+            one.code,
+            " ".join((one.__doc__ or "").split()).rstrip("."),
+            one.remedy,
+            "yes" if one.is_retryable else "no",
+        )
         for one in errors.ALL_ERRORS
     ]
-    assert all(one.code and one.do for one in errors.ALL_ERRORS)
+    assert all(one.code and one.remedy for one in errors.ALL_ERRORS)
     assert sorted(one.code for one in errors.ClusterError.__subclasses__()) == sorted(
         one.code for one in errors.ALL_ERRORS
     )
@@ -201,7 +206,7 @@
     read = read_call(raw)
     assert isinstance(read, errors.InvalidCall) and read.subject == whom and what in read.detail
     said = json.loads(line_of(read).removeprefix(b"-ERR "))
-    assert said["error"] == "bad-call" and said["do"] == errors.InvalidCall.do and said["whom"] == whom
+    assert said["error"] == "bad-call" and said["do"] == errors.InvalidCall.remedy and said["whom"] == whom
 
 
 def test_calls_are_known_by_several_writings() -> None:
--- a/tests/support/cluster_history.py
+++ b/tests/support/cluster_history.py
@@ -17,7 +17,8 @@
 from badgeryoke.cluster.raft.log import encode_config
 from badgeryoke.cluster.reservations import contract
 from badgeryoke.cluster.rolling_restart import restart
-from badgeryoke.cluster.state_machine.machine import GroupStateMachine, encode_command
+from badgeryoke.cluster.state_machine.command_registry import encode_command
+from badgeryoke.cluster.state_machine.machine import GroupStateMachine
 from badgeryoke.cluster.state_machine.part import FLEET, ApplyResult, Command
 from badgeryoke.cluster.timings import Timings
 from badgeryoke.gateway.cluster.storage import ClusterStorage, open_storage
--- a/tests/support/cluster_samples.py
+++ b/tests/support/cluster_samples.py
@@ -16,7 +16,7 @@
 from badgeryoke.cluster.raft.log import encode_config
 from badgeryoke.cluster.reservations import contract
 from badgeryoke.cluster.rolling_restart import restart
-from badgeryoke.cluster.state_machine.machine import decode_command, encode_command
+from badgeryoke.cluster.state_machine.command_registry import decode_command, encode_command
 from badgeryoke.cluster.state_machine.part import ApplyResult, Command
 from badgeryoke.gateway.cluster.transport import decode_envelope, encode_frame
 
