--- a/badgeryoke/cluster/leader_duties.py
+++ b/badgeryoke/cluster/leader_duties.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from badgeryoke.cluster.call_router import CallRouter
-from badgeryoke.cluster.connection_limits import SetConnectionLimit, bucket
+from badgeryoke.cluster.connection_limits.commands import SetConnectionLimit
+from badgeryoke.cluster.connection_limits.holders import server_bucket
 from badgeryoke.cluster.events import Effect
 from badgeryoke.cluster.membership.protocol import Membership
 from badgeryoke.cluster.messages import MemberId
@@ -46,7 +47,7 @@
         if replica.group == FLEET:
             parts = self._host.state_machines[FLEET].parts
             placement = parts["placing"]
-            promised = parts["contracts"].promised(wall, wall + parts["rolls"].horizon_ms())
+            promised = parts["contracts"].promised(wall, wall + parts["rolls"].planning_horizon_ms())
             load = {**load, "promised": promised}
         behind = {group: one.lagging for group, one in placement.groups.items() if one.lagging}
         for group, led in self._host.replicas.items():
@@ -104,17 +105,17 @@
         commands: list[Command] = []
         for server, limit in connection_limits.items():
             is_known = server in known
-            if is_known and known[server].parts.whole == limit:
+            if is_known and known[server].pool.whole == limit:
                 continue
-            if group_for_key(bucket(server), group_count) != group:
+            if group_for_key(server_bucket(server), group_count) != group:
                 continue
-            known_limit = known[server].parts.whole if is_known else 0
+            known_limit = known[server].pool.whole if is_known else 0
             commands.append(
                 SetConnectionLimit(
                     id=f"limit/{server}/{limit}/{known_limit:g}/{state_machine.index}",
                     server=server,
-                    most=limit,
-                    idle_ms=self._setup.connection_idle_ms,
+                    max_connections=limit,
+                    idle_timeout_ms=self._setup.connection_idle_ms,
                 )
             )
         return commands
--- a/badgeryoke/cluster/replica_host.py
+++ b/badgeryoke/cluster/replica_host.py
@@ -133,8 +133,8 @@
     def _hasten_rolling_restart(self, now: float) -> None:
         """A rolling restart made progress: its leader looks at it at once, not at the next heartbeat."""
         active = self.state_machines[FLEET].parts["rolls"].active
-        if active is not None and (active.name, active.changes) != self._rolling_restart:
-            self._rolling_restart = active.name, active.changes
+        if active is not None and (active.name, active.version) != self._rolling_restart:
+            self._rolling_restart = active.name, active.version
             self._timers.leader_tasks_at = self._timers.due_at = now
 
     def transfer_all_leadership(self, now: float) -> list[Effect]:
--- a/badgeryoke/cluster/state_machine/command_registry.py
+++ b/badgeryoke/cluster/state_machine/command_registry.py
@@ -9,13 +9,16 @@
 
 import msgspec
 
-from badgeryoke.cluster import connection_limits, key_value, unreported_usage
+from badgeryoke.cluster import key_value, unreported_usage
+from badgeryoke.cluster.connection_limits.commands import CONNECTION_LIMIT_COMMANDS
+from badgeryoke.cluster.connection_limits.limits import ConnectionLimits
 from badgeryoke.cluster.errors import InvalidCall
 from badgeryoke.cluster.invariants import Invariants
 from badgeryoke.cluster.placement import commands as placement_commands
 from badgeryoke.cluster.placement import directory
 from badgeryoke.cluster.reservations import contract
-from badgeryoke.cluster.rolling_restart import restart
+from badgeryoke.cluster.rolling_restart.commands import ROLLING_RESTART_COMMANDS
+from badgeryoke.cluster.rolling_restart.waves import RollingRestarts
 from badgeryoke.cluster.state_machine.part import Command, PartName
 from badgeryoke.cluster.timings import Timings
 
@@ -67,17 +70,17 @@
 REGISTRY.register_cluster_part(PartName.PLACEMENT, placement_commands.COMMANDS, directory.PlacementDirectory)
 REGISTRY.register_cluster_part(PartName.CONTRACTS, contract.FLEET_COMMANDS, contract.ContractRegistry)
 REGISTRY.register_cluster_part(
-    PartName.ROLLING_RESTARTS, restart.COMMANDS, lambda timings, rules: restart.RollingRestarts(rules)
+    PartName.ROLLING_RESTARTS, ROLLING_RESTART_COMMANDS, lambda timings, rules: RollingRestarts(rules)
 )
 REGISTRY.register_group_part(PartName.GUARANTEED_RATES, contract.TENANT_COMMANDS, contract.GuaranteedRates)
 REGISTRY.register_group_part(
     PartName.CONNECTION_LIMITS,
-    connection_limits.COMMANDS,
-    lambda timings, rules: connection_limits.ConnectionLimits(rules, timings),
+    CONNECTION_LIMIT_COMMANDS,
+    lambda timings, rules: ConnectionLimits(rules, timings),
 )
 REGISTRY.register_group_part(
     PartName.UNREPORTED_USAGE,
-    unreported_usage.COMMANDS,
+    unreported_usage.UNREPORTED_USAGE_COMMANDS,
     lambda timings, rules: unreported_usage.UnreportedUsage(),
 )
 
--- a/badgeryoke/gateway/cluster/upstream_lease.py
+++ b/badgeryoke/gateway/cluster/upstream_lease.py
@@ -13,7 +13,7 @@
 
 from tornado.iostream import IOStream
 
-from badgeryoke.cluster.connection_limits import ConnectionLeaseHolder
+from badgeryoke.cluster.connection_limits.lease_holder import ConnectionLeaseHolder
 from badgeryoke.gateway.actor import new_socket
 
 
@@ -70,7 +70,7 @@
     def is_held(self) -> bool:
         """Whether connections may be used now."""
         holder = self._owner.lease_holder
-        return holder is not None and holder.held(self._owner.monotonic_ms(), self.server)
+        return holder is not None and holder.lease_valid(self._owner.monotonic_ms(), self.server)
 
     def may_open(self) -> bool:
         """Whether one more connection may be dialled."""
--- a/tests/cluster/test_golden_cluster.py
+++ b/tests/cluster/test_golden_cluster.py
@@ -18,9 +18,9 @@
 import pytest
 
 from badgeryoke.cluster import key_value, messages, unreported_usage
-from badgeryoke.cluster.bootstrap_record import BootstrapRecord as FoundingRecord
+from badgeryoke.cluster.bootstrap_record import BootstrapRecord
 from badgeryoke.cluster.call_router import reply_decoder as forwarded_answers
-from badgeryoke.cluster.connection_limits import ConnectionLeaseRequest as ConnectionsAsk
+from badgeryoke.cluster.connection_limits.commands import ConnectionLeaseRequest as ConnectionsAsk
 from badgeryoke.cluster.errors import AnyError, ClusterError
 from badgeryoke.cluster.events import (
     ClusterCall,
@@ -40,12 +40,19 @@
 from badgeryoke.cluster.placement import state as placement_state
 from badgeryoke.cluster.placement.rendezvous import group_for_key
 from badgeryoke.cluster.reservations import contract
-from badgeryoke.cluster.rolling_restart import restart
+from badgeryoke.cluster.rolling_restart.conditions import ClusterConditions
+from badgeryoke.cluster.rolling_restart.transitions import (
+    GatewayEvent,
+    GatewayPhase,
+    GatewayReport,
+    RestartEvent,
+    RestartState,
+)
 from badgeryoke.cluster.state_machine.command_registry import REGISTRY, encode_command
 from badgeryoke.cluster.state_machine.machine import GroupStateMachine
 from badgeryoke.cluster.state_machine.part import FLEET, ApplyResult, Command, LeaderView
 from badgeryoke.cluster.timings import Timings
-from badgeryoke.gateway.cluster.admin_calls import known, line_of, read_call
+from badgeryoke.gateway.cluster.admin_calls import StatusRequest, format_answer, operator_commands, parse_call
 from badgeryoke.gateway.cluster.service import ClusterService
 from badgeryoke.gateway.cluster.settings import ClusterSettings
 from badgeryoke.gateway.cluster.startup import node_setup
@@ -158,10 +165,10 @@
         messages.LogEntry,
         messages.GossipUpdate,
         messages.Envelope,
-        FoundingRecord,
+        BootstrapRecord,
         contract.Window,
         contract.ContractTerms,
-        restart.ClusterConditions,
+        ClusterConditions,
         unreported_usage.UsageLine,
         placement_state.ReplicaMove,
         placement_state.GroupPlacement,
@@ -180,22 +187,22 @@
 def stored_words() -> dict[str, list[Any]]:
     """The words by which snapshots, entries and answers name members of enumerations, reports and parts."""
     names: dict[str, type[Enum]] = {
-        "roll states": restart.RestartState,
-        "roll turns": restart.RestartEvent,
-        "gateway stands": restart.GatewayPhase,
-        "gateway steps": restart.GatewayEvent,
+        "roll states": RestartState,
+        "roll turns": RestartEvent,
+        "gateway stands": GatewayPhase,
+        "gateway steps": GatewayEvent,
         "rules": Rule,
     }
     values: dict[str, type[Enum]] = {
         "contract states": contract.ContractState,
-        "roll states told": restart.RestartState,
-        "gateway stands told": restart.GatewayPhase,
+        "roll states told": RestartState,
+        "gateway stands told": GatewayPhase,
     }
     return (
         {name: [one.name for one in kind] for name, kind in names.items()}
         | {name: [one.value for one in kind] for name, kind in values.items()}
         | {
-            "reports": list(restart.REPORTS),
+            "reports": [report.value for report in GatewayReport],
             "fleet parts": list(REGISTRY.cluster_parts),
             "other parts": list(REGISTRY.group_parts),
         }
@@ -454,9 +461,9 @@
         for one in golden("cluster/calls.json")
         if "call" in one and one["answer"].startswith("+OK")
     ]
-    read = [read_call(call.encode()) for call in taken]
-    assert {type(one) for one in read if isinstance(one, Command)} == set(known().values())
-    assert "status" in read
+    read = [parse_call(call.encode()) for call in taken]
+    assert {type(one) for one in read if isinstance(one, Command)} == set(operator_commands().values())
+    assert StatusRequest() in read
 
 
 # What goes between members
@@ -625,4 +632,4 @@
 
 @pytest.mark.parametrize("error", ERRORS, ids=lambda error: error.code)
 def test_the_line_of_an_error_is_as_ever(error: AnyError) -> None:
-    assert line_of(error).decode() == golden("cluster/exchanges.json")["lines"][error.code]
+    assert format_answer(error).decode() == golden("cluster/exchanges.json")["lines"][error.code]
--- a/tests/support/cluster_service.py
+++ b/tests/support/cluster_service.py
@@ -36,7 +36,7 @@
         invariants: Invariants,
     ) -> None:
         self.setup, self.saved, self.invariants = setup, saved, invariants
-        self.holders: list[LeaseClient] = []
+        self.lease_clients: list[LeaseClient] = []
         self.events: list[NodeEvent] = []
         self.due = math.inf
         self.effects_of: Callable[[Any], list[Effect]] = lambda event: []
@@ -93,3 +93,9 @@
         yield service, node
     finally:
         service.close()
+
+
+def feed(service: ClusterService, *events: NodeEvent) -> None:
+    """Hand events to the node of a member that runs."""
+    assert service.running is not None
+    service.running.feed(*events)
