State membership, bootstrap and placement tests in the field's terms, with their network apart

Cause: the tests' names spoke of those buried, knocked at and thrown together, and the digests imported the simulated network out of a test module.

The two tests with derandomized examples keep their names, as the examples depend on them.

--- a/tests/cluster/test_behaviour_digests.py
+++ b/tests/cluster/test_behaviour_digests.py
@@ -143,7 +143,6 @@
 from badgeryoke.testbed.cluster_simulation.world import FleetWorld
 from badgeryoke.testbed.scenario.model import Fault
 from tests.cluster.raft.test_raft import Storm, write
-from tests.cluster.test_membership import Net, members_of
 from tests.support.canonical import Digest
 from tests.support.cluster_digest import (
     RecordedNode,
@@ -155,6 +154,7 @@
     command_values,
     saved_values,
 )
+from tests.support.member_network import MemberNetwork, members_of
 
 TIMINGS = Timings()
 SHORT = Timings(snapshot_entries=8, piece_bytes=48, most_batch=3, most_in_flight=6)
@@ -405,7 +405,7 @@
 # ----------------------------------------------------------------------------------------------
 
 
-class RecordedNet(Net):
+class RecordedNet(MemberNetwork):
     """A network of members whose effects go into a digest."""
 
     def __init__(self, count: int, seed: int, kind: str, digest: Digest) -> None:
--- a/tests/cluster/test_membership.py
+++ b/tests/cluster/test_membership.py
@@ -1,12 +1,9 @@
-"""Who lives, how a fleet is formed, and where its copies are: fleets of 3, 40 and 200 members in simulated
-time."""
+"""Membership, bootstrap and placement of replicas: clusters of 3, 40 and 200 members in simulated time."""
 
 from __future__ import annotations
 
-import heapq
 import random
 from collections import Counter
-from collections.abc import Callable
 from typing import Any
 
 import msgspec
@@ -18,7 +15,6 @@
 from badgeryoke.cluster.bootstrap_record import BootstrapRecord, decode_record
 from badgeryoke.cluster.errors import ClusterMismatch, InvalidCall, Overloaded, StaleIncarnation
 from badgeryoke.cluster.events import (
-    HardState,
     LogEvent,
     MessageReceived,
     PersistedGroup,
@@ -53,134 +49,11 @@
 from badgeryoke.cluster.placement.repair import MAX_MOVE_DURATION_MS
 from badgeryoke.cluster.raft.log import RaftLog
 from badgeryoke.cluster.state_machine.part import FLEET, LeaderView
-from badgeryoke.cluster.timings import Timings
-
-TIMES = Timings()
-
-
-def members_of(count: int) -> tuple[Member, ...]:
-    return tuple(Member(f"m{at:03}", "ab"[at % 2]) for at in range(count))
-
-
-class Net:
-    """Members of any kind on a network that loses, delays and mixes up; frozen ones keep what comes for
-    them."""
-
-    def __init__(self, count: int, seed: int, kind: str = "membership") -> None:
-        self.draw, self.now, self.kind = random.Random(seed), 0.0, kind
-        self.members = members_of(count)
-        self.nodes: dict[str, Any] = {}
-        self.ids: dict[str, MemberId] = {}
-        self.disk: dict[str, PersistedGroup] = {}
-        self.ticks: dict[str, float] = {}
-        self.queue: list[tuple[float, int, str, MemberId, Any]] = []  # when, order, to, as whom, event
-        self.frozen: dict[str, list[tuple[MemberId, Any]]] = {}
-        self.sent: Counter[str] = Counter()
-        self.says: list[tuple[float, str, LogEvent]] = []
-        self.order = 0
-        self.delay: Callable[[str, str], float | None] = lambda a, b: self.draw.uniform(0.2, 2.0)
-
-    def start(self, name: str, wiped: bool = False) -> None:
-        """A process starts: as it was, or with a new store and so as a new incarnation."""
-        if wiped or name not in self.ids:
-            self.disk[name] = PersistedGroup()
-            self.ids[name] = f"{name}/{self.draw.getrandbits(32):08x}"
-        draw, incarnation = random.Random(self.draw.random()), self.ids[name].partition("/")[2]
-        hall = next(one.zone for one in self.members if one.name == name)
-        self.nodes[name] = (
-            Membership(self.ids[name], hall, self.members, TIMES, draw, self.now)
-            if self.kind == "membership"
-            else Bootstrap(
-                NodeSetup("yard", name, incarnation, self.members), self.disk[name], draw, self.now
-            )
-        )
-        self.tick(name)
-
-    def stop(self, name: str) -> None:
-        self.nodes.pop(name)
-        self.frozen.pop(name, None)
-
-    def tick(self, name: str) -> None:
-        due = self.nodes[name].due
-        if due != self.ticks.get(name) and due < float("inf"):
-            self.ticks[name] = due
-            self.put(max(due, self.now), name, self.ids[name], Tick())
-
-    def put(self, when: float, to: str, who: MemberId, event: Any) -> None:
-        self.order += 1
-        heapq.heappush(self.queue, (when, self.order, to, who, event))
-
-    def give(self, name: str, event: Any) -> None:
-        self.carry(name, self.nodes[name].handle(self.now, event))
-
-    def carry(self, name: str, effects: list[Any]) -> None:
-        for one in effects:
-            if isinstance(one, LogEvent):
-                self.says.append((self.now, name, one))
-            elif isinstance(one, PersistRecords):
-                self.put(self.now + self.draw.uniform(1, 20), name, self.ids[name], one)
-            elif isinstance(one, SendMessage):
-                self.sent[name] += 1
-                took = self.delay(name, member_name(one.to))
-                if took is not None:
-                    self.put(
-                        self.now + took,
-                        member_name(one.to),
-                        one.to,
-                        MessageReceived(self.ids[name], one.message),
-                    )
-        if name in self.nodes:
-            self.tick(name)
-
-    def run(self, until: float) -> None:
-        while self.queue and self.queue[0][0] <= until:
-            self.now, _, name, who, event = heapq.heappop(self.queue)
-            if name not in self.nodes or who not in (self.ids[name], name + "/"):
-                continue
-            if isinstance(event, Tick) and self.ticks.get(name) == self.now:
-                self.ticks[name] = -1.0
-            if name in self.frozen:
-                if not isinstance(event, Tick) or not any(
-                    isinstance(one, Tick) for _, one in self.frozen[name]
-                ):
-                    self.frozen[name].append((who, event))
-            elif isinstance(event, PersistRecords):
-                self.disk[name] = stored(self.disk[name], event)
-                self.give(name, RecordsPersisted(event.group, event.seq))
-            elif not isinstance(event, Tick) or self.now >= self.nodes[name].due:
-                self.give(name, event)
-            else:
-                self.tick(name)
-        self.now = until
-
-    def thaw(self, name: str) -> None:
-        for who, event in self.frozen.pop(name):
-            self.put(self.now, name, who, event)
-        self.put(self.now, name, self.ids[name], Tick())
-
-    def believed(self, who: str) -> Counter[str]:
-        return Counter(one.state_of(who) for name, one in self.nodes.items() if name != member_name(who))
-
-    def buried(self, since: float = 0.0) -> set[str]:
-        """Names that anybody has called dead."""
-        return {
-            member_name(say.fields["who"])
-            for at, _, say in self.says
-            if at >= since and say.event == "fleet_member" and say.fields["state"] == "dead"
-        }
-
-
-def stored(saved: PersistedGroup, event: PersistRecords) -> PersistedGroup:
-    for record in event.records:
-        if isinstance(record, HardState):
-            saved = PersistedGroup(record.term, record.vote, saved.snapshot, saved.entries)
-        elif isinstance(record, Snapshot):
-            saved = PersistedGroup(saved.term, saved.vote, record, ())
-    return saved
-
-
-def running(count: int, seed: int, until: float = 5000.0) -> Net:
-    net = Net(count, seed)
+from tests.support.member_network import TIMES, MemberNetwork
+
+
+def running(count: int, seed: int, until: float = 5000.0) -> MemberNetwork:
+    net = MemberNetwork(count, seed)
     for one in net.members:
         net.start(one.name)
     for node in net.nodes.values():
@@ -194,7 +67,7 @@
 
 
 @pytest.mark.parametrize(("count", "within"), [(3, 5000.0), (40, 8000.0), (200, 12000.0)])
-def test_the_dead_are_found_in_time_with_the_same_messages_at_any_size(count: int, within: float) -> None:
+def test_a_dead_member_is_detected_in_time_at_a_constant_message_rate(count: int, within: float) -> None:
     net = running(count, 1)
     net.sent.clear()
     net.run(9000.0)
@@ -213,19 +86,19 @@
     )
 
 
-def flap(net: Net, until: float) -> set[str]:
+def flap(net: MemberNetwork, until: float) -> set[str]:
     since = net.now
     net.run(until)
     return net.buried(since)
 
 
-def test_what_one_direction_loses_goes_round_by_others() -> None:
+def test_indirect_pings_prevent_suspicion_where_one_direction_loses_messages() -> None:
     net = running(5, 2)
     net.delay = lambda a, b: None if (a, b) == ("m000", "m001") else 1.0
     assert flap(net, 65000.0) == set()
 
 
-def test_a_slow_member_is_waited_for() -> None:
+def test_ping_timeouts_adapt_to_a_slow_member() -> None:
     net = running(5, 3)
     net.delay = lambda a, b: 400.0 if "m001" in (a, b) else 1.0
     assert flap(net, 65000.0) == set()
@@ -233,20 +106,20 @@
     assert suspected == 0, "its answers are known to take so long"
 
 
-def test_a_fleet_of_slow_links_does_not_flap() -> None:
+def test_a_cluster_of_slow_links_does_not_flap() -> None:
     net = running(40, 4)
     net.delay = lambda a, b: 400.0
     assert flap(net, 20000.0) == set()
 
 
-def test_lost_messages_alone_bury_nobody() -> None:
+def test_message_loss_alone_declares_no_member_dead() -> None:
     net = running(10, 5)
     net.delay = lambda a, b: None if net.draw.random() < 0.1 else 1.0
     assert flap(net, 60000.0) == set()
 
 
 @pytest.mark.parametrize("length", [900.0, 30000.0])
-def test_a_frozen_process_buries_nobody_when_it_thaws(length: float) -> None:
+def test_a_process_declares_no_member_dead_after_it_was_frozen(length: float) -> None:
     net = running(10, 6)
     net.delay = lambda a, b: None if (a, b) == ("m002", "m001") else 1.0  # it has probes under way that fail
     net.run(7000.0)
@@ -263,7 +136,7 @@
     assert net.nodes["m001"].alive_ids() == frozenset(net.ids.values())
 
 
-def test_a_thawed_process_begins_its_suspicions_anew() -> None:
+def test_suspicion_timeouts_restart_after_a_freeze() -> None:
     me = Membership(
         "a/1", "x", [Member("a", "x"), Member("b", "x"), Member("c", "x")], TIMES, random.Random(1), 0.0
     )
@@ -278,7 +151,7 @@
     assert me.state_of("b") == "dead" and now >= 60000.0 + TIMES.suspect_periods * TIMES.probe_ms
 
 
-def test_a_healed_split_finds_together() -> None:
+def test_both_sides_of_a_healed_partition_find_each_other() -> None:
     net = running(6, 7)
     net.delay = lambda a, b: 1.0 if (a < "m003") == (b < "m003") else None
     net.run(30000.0)
@@ -288,7 +161,7 @@
     assert all(net.believed(name) == {"alive": 5} for name in net.nodes), "and each knows of each"
 
 
-def test_a_lost_store_supersedes_and_a_kept_one_comes_back() -> None:
+def test_a_new_incarnation_supersedes_the_old_and_a_restart_keeps_its_own() -> None:
     net = running(5, 8)
     old = net.ids["m001"]
     net.stop("m001")
@@ -311,7 +184,7 @@
     )
 
 
-def test_leaving_is_no_loss_until_it_lasts() -> None:
+def test_a_member_that_left_counts_as_dead_only_after_a_grace_period() -> None:
     net = running(5, 9)
     net.carry("m001", net.nodes["m001"].leave())
     net.stop("m001")
@@ -329,7 +202,7 @@
 # ------------------------------------------------------------------------------------------------
 
 
-def records(net: Net) -> dict[str, BootstrapRecord]:
+def records(net: MemberNetwork) -> dict[str, BootstrapRecord]:
     """What stands on the disks."""
     found = {
         name: decode_record(saved.snapshot.body)
@@ -339,8 +212,8 @@
     return {name: record for name, record in found.items() if record is not None}
 
 
-def test_a_fleet_is_founded_once_all_are_there() -> None:
-    net = Net(5, 1, "founding")
+def test_a_cluster_is_bootstrapped_once_all_members_are_present() -> None:
+    net = MemberNetwork(5, 1, "founding")
     for one in net.members[:4]:
         net.start(one.name)
     net.run(20000.0)
@@ -364,7 +237,7 @@
     ),
 )
 def test_no_second_founding_while_a_founder_lives(seed: int, acts: list[tuple[str, int, float]]) -> None:
-    net = Net(4, seed, "founding")
+    net = MemberNetwork(4, seed, "founding")
     net.delay = lambda a, b: None if net.draw.random() < 0.2 else net.draw.uniform(0.5, 400.0)
     down: dict[str, bool] = {one.name: False for one in net.members}
     for one in net.members:
@@ -387,7 +260,7 @@
     assert len(records(net)) == 4, "and in the end there is one"
 
 
-def check_one_founding(net: Net) -> None:
+def check_one_founding(net: MemberNetwork) -> None:
     """Founders, as they are now, with their disks, belong to one founding."""
     founders = {
         record.bootstrap_id
@@ -397,7 +270,7 @@
     assert len(founders) <= 1
 
 
-def test_a_record_from_before_a_later_maker_is_not_taken() -> None:
+def test_a_record_of_a_superseded_creator_is_not_taken() -> None:
     setup = NodeSetup("yard", "b", "1", (Member("a", "x"), Member("b", "x")))
     old = BootstrapRecord("yard", "01", "a/1", (("a/1", "x"), ("b/1", "x")), 8, 3)
     node = Bootstrap(setup, PersistedGroup(), random.Random(1), 0.0)
@@ -412,7 +285,7 @@
     assert restarted.handle(4.0, MessageReceived("a/1", ClusterFounded(msgspec.msgpack.encode(old)))) == []
 
 
-def test_another_fleet_is_told_and_not_taken() -> None:
+def test_a_record_of_another_cluster_is_logged_and_not_taken() -> None:
     setup = NodeSetup("yard", "b", "1", (Member("a", "x"), Member("b", "x")))
     other = msgspec.msgpack.encode(BootstrapRecord("mill", "01", "a/1", (("a/1", "x"), ("b/1", "x")), 8, 3))
     node = Bootstrap(setup, PersistedGroup(), random.Random(1), 0.0)
@@ -431,7 +304,7 @@
 # -------------------------------------------------------------------------------------------------
 
 
-def test_keys_spread_and_one_group_more_moves_few() -> None:
+def test_rendezvous_hashing_spreads_keys_and_moves_few_for_a_new_group() -> None:
     keys = [f"t:{at}" for at in range(4000)]
     assert group_for_key("", 8) == FLEET and group_for_key("t:7", 8) == group_for_key("s:7", 8)
     spread = Counter(group_for_key(key, 8) for key in keys)
@@ -448,7 +321,7 @@
 
 @settings(max_examples=60, deadline=None, derandomize=True)
 @given(st.lists(st.sampled_from("abc"), min_size=1, max_size=40), st.integers(1, 24), st.sampled_from([3, 5]))
-def test_the_first_placing_is_even_and_in_different_halls(halls: list[str], groups: int, copies: int) -> None:
+def test_the_initial_placement_is_even_and_across_zones(halls: list[str], groups: int, copies: int) -> None:
     record = record_of(halls, groups, copies)
     placed, of = initial_placement(record), dict(record.members)
     want = replica_count(copies, len(halls))
@@ -551,7 +424,7 @@
         return Counter(who for config in self.config.values() for who in config.voters)
 
 
-def test_one_loss_after_another_is_made_good_at_a_bounded_pace() -> None:
+def test_successive_losses_are_repaired_at_a_bounded_rate() -> None:
     fleet = Groups(["a", "b"] * 4)
     for name in ("m001", "m004", "m006", "m003"):
         before = {group: set(config.voters) for group, config in fleet.config.items()}
@@ -578,7 +451,7 @@
     assert sum(load.values()) == 27 and max(load.values()) - min(load.values()) <= 1
 
 
-def test_who_comes_back_in_time_keeps_its_place() -> None:
+def test_a_member_that_returns_in_time_keeps_its_replicas() -> None:
     fleet = Groups(["a", "b", "a", "b", "a"])
     before = dict(fleet.config)
     fleet.kill("m002")
@@ -590,7 +463,7 @@
     assert fleet.config == before and fleet.placing.move_count == 0
 
 
-def test_who_comes_back_too_late_is_no_member_until_it_is_evened_out() -> None:
+def test_a_member_that_returns_late_gets_replicas_by_rebalancing() -> None:
     fleet = Groups(["a", "b", "a", "b", "a"])
     who = fleet.kill("m002")
     fleet.settle()
@@ -603,7 +476,7 @@
     assert load[who] and max(load.values()) - min(load.values()) <= 1
 
 
-def test_a_lost_disk_is_replaced_at_once_and_its_old_id_never_comes_back() -> None:
+def test_a_lost_disk_is_repaired_at_once_and_its_old_id_never_returns() -> None:
     fleet = Groups(["a", "b", "a"])
     old = fleet.kill("m001")
     fleet.back("m001", 2)
@@ -614,7 +487,7 @@
     assert isinstance(again.error, StaleIncarnation)
 
 
-def test_a_newcomer_gets_its_part_and_a_second_hall_is_used() -> None:
+def test_a_newcomer_gets_replicas_and_a_second_zone_is_used() -> None:
     fleet = Groups(["a"] * 4)
     fleet.halls["m004"], fleet.alive["m004"] = "b", "m004/1"
     fleet.settle(120.0)
@@ -622,7 +495,7 @@
     assert fleet.most == 1
 
 
-def test_two_become_three() -> None:
+def test_a_cluster_of_two_members_grows_to_three_replicas() -> None:
     fleet = Groups(["a", "b"])
     assert all(len(config.voters) == 2 for config in fleet.config.values())
     fleet.halls["m002"], fleet.alive["m002"] = "a", "m002/1"
@@ -630,7 +503,7 @@
     assert all(len(config.voters) == 3 for config in fleet.config.values())
 
 
-def test_a_group_without_majority_blocks_no_other_and_a_newcomer_that_dies_is_given_up() -> None:
+def test_a_group_without_majority_blocks_no_repair_and_a_move_to_a_dead_member_is_cancelled() -> None:
     fleet = Groups(["a", "b"] * 4)
     voters = fleet.config["g0"].voters
     for who in voters[:2]:
@@ -656,7 +529,7 @@
     assert not any(config.learners or new in config.voters for config in fleet.config.values())
 
 
-def test_a_newcomer_that_never_catches_up_makes_room_for_another() -> None:
+def test_a_learner_that_never_catches_up_is_replaced_by_another() -> None:
     fleet = Groups(["a", "b"] * 3, groups=1)
     fleet.kill(member_name(fleet.config["g0"].voters[0]))
     while not fleet.placing.moves:
@@ -669,7 +542,7 @@
     assert fleet.placing.replication_problems(fleet.view()) == []
 
 
-def test_a_newcomer_that_was_lost_meanwhile_is_taken_again_when_it_is_back() -> None:
+def test_a_learner_that_was_lost_meanwhile_is_chosen_again_once_it_returns() -> None:
     """It was kept out for a minute as if it had been too slow, and of three members there is no other."""
     fleet = Groups(["a"] * 3, groups=1)
     name = member_name(fleet.config["g0"].voters[0])
@@ -706,7 +579,7 @@
     assert fleet.most <= TIMES.repair_at_once
 
 
-def test_faulty_commands_change_nothing() -> None:
+def test_invalid_placement_commands_change_nothing() -> None:
     fleet = Groups(["a", "b", "a", "b"])
     before, voters = fleet.placing.dump(), fleet.config["g0"].voters
     other = next(who for who in fleet.alive.values() if who not in voters)
@@ -740,7 +613,7 @@
         assert type(told.error) is (error or type(None))
 
 
-def test_a_group_is_forced_once_and_one_voter_at_a_time() -> None:
+def test_forced_recovery_is_idempotent_and_removes_one_voter_at_a_time() -> None:
     base = Snapshot(7, 3, GroupConfiguration(("a/1", "b/1", "c/1"), ("d/1",)), b"")
     saved = PersistedGroup(4, "a/1", base, ())
     made = force_sole_voter(saved, "g0", "b/1", ("a/1", "c/1"), 1e12)
@@ -762,7 +635,7 @@
     assert force_sole_voter(saved, "g0", "b/1", ("a/1",), 1e12) == saved, "not all that stand there are named"
 
 
-def test_the_suspect_is_told_first_and_refutes() -> None:
+def test_a_suspect_is_notified_first_and_refutes() -> None:
     me = Membership(
         "a/1", "x", [Member("a", "x"), Member("b", "x"), Member("c", "x")], TIMES, random.Random(1), 0.0
     )
@@ -778,7 +651,7 @@
     assert me.state_of("b") == "alive"
 
 
-def test_an_answer_counts_for_the_probe_it_answers() -> None:
+def test_an_ack_counts_only_for_the_ping_it_answers() -> None:
     me = Membership("a/1", "x", [Member("a", "x"), Member("b", "x")], TIMES, random.Random(1), 0.0)
     ping = next(one for one in me.handle(me.due, Tick()) if isinstance(one, SendMessage))
     assert ping.to == "b/" and isinstance(ping.message, Ping)
@@ -788,7 +661,7 @@
     assert me.ids()["b"] == "b/9" and me.alive_ids() == {"a/1", "b/9"}
 
 
-def test_a_refutation_that_was_lost_is_told_again_whenever_somebody_still_believes_the_rumour() -> None:
+def test_a_lost_refutation_is_sent_again_while_any_member_still_gossips_the_suspicion() -> None:
     me = Membership("b/1", "x", [Member("a", "x"), Member("b", "x")], TIMES, random.Random(1), 0.0)
     for turn in range(60):  # also long after it was told often enough
         answers: list[Any] = me.handle(
@@ -800,7 +673,7 @@
         assert GossipUpdate("b/1", 0, 1) in ack.gossip
 
 
-def test_two_that_know_only_each_others_lost_ids_find_each_other() -> None:
+def test_members_that_know_only_each_others_past_ids_find_each_other() -> None:
     """After all founders were lost in turn a newcomer knows none of those that live, nor they it."""
     made = {
         f"{name}/2": Membership(
--- a/tests/cluster/test_regressions.py
+++ b/tests/cluster/test_regressions.py
@@ -429,7 +429,7 @@
     return Membership("a/1", "x", [Member(name, "x") for name in "abc"], Timings(), Random(1), 0.0)
 
 
-def test_an_incarnation_that_is_over_is_neither_heard_nor_answered() -> None:
+def test_messages_of_a_superseded_incarnation_are_ignored() -> None:
     me = watcher()
     for who in ("c/1", "b/1", "b/2"):
         me.handle(10.0, MessageReceived(who, Ping(1, "a/1", ())))
@@ -440,7 +440,7 @@
     assert me.state_of("c") == "dead"  # at the count that is known as well
 
 
-def test_who_answers_is_not_buried_though_its_refutation_is_lost_and_health_comes_back() -> None:
+def test_a_suspect_that_answers_pings_is_not_declared_dead_and_local_health_recovers() -> None:
     me = watcher()
     for who in ("b/1", "c/1"):
         me.handle(10.0, MessageReceived(who, Ping(1, "a/1", ())))
@@ -461,7 +461,7 @@
 FOUNDED = BootstrapRecord("yard", "01", "a/1", tuple((f"{name}/1", "x") for name in "abc"), 8, 3)
 
 
-def test_a_member_of_which_the_record_is_not_stored_yet_says_neither_none_nor_that() -> None:
+def test_a_member_whose_bootstrap_record_is_not_stored_yet_answers_no_query() -> None:
     node = Bootstrap(YARD, PersistedGroup(), Random(1), 0.0)
     assert [
         type(one)
@@ -477,7 +477,7 @@
     assert [one.fields["error"] for one in said if isinstance(one, LogEvent)] == ["another-fleet"]
 
 
-def test_an_answer_is_never_given_back_to_an_earlier_maker() -> None:
+def test_a_bootstrap_promise_is_never_given_to_an_earlier_creator() -> None:
     node = Bootstrap(YARD, PersistedGroup(), Random(1), 0.0)
     for who in ("a/1", "a/2"):
         assert [type(one) for one in node.handle(1.0, MessageReceived(who, IdentityQuery("x")))] == [
@@ -505,7 +505,7 @@
     return made, voters[0], new
 
 
-def test_a_copy_goes_when_the_one_in_its_place_counts() -> None:
+def test_a_replica_is_removed_once_its_replacement_votes() -> None:
     made, lost, new = moving()
     alive = frozenset(who for who, _ in made.members.values())
     config = GroupConfiguration(made.groups["g0"].voters)
@@ -525,7 +525,7 @@
     assert not made.moves
 
 
-def test_a_move_counts_as_load_and_ends_with_its_newcomers_incarnation() -> None:
+def test_a_move_counts_as_load_and_ends_with_its_learners_incarnation() -> None:
     made, _, new = moving()
     held = sum(new in held.voters for held in made.groups.values())
     assert made.replica_loads()[new] == held + 1
@@ -534,7 +534,7 @@
     assert not made.moves
 
 
-def test_copies_that_lag_are_not_whole_and_a_move_is_timed_by_what_its_leader_saw() -> None:
+def test_lagging_replicas_are_incomplete_and_a_move_is_timed_by_its_present_leader() -> None:
     made = placing()
     view = LeaderView(
         100_000.0,
@@ -576,7 +576,7 @@
     return made.apply(0.0, index, encode_command(at_ms, key_value.PutValue(id=id_, name=name, value=value)))
 
 
-def test_ids_answers_and_time_outlive_a_snapshot_and_the_oldest_id_goes_first(
+def test_a_snapshot_keeps_answers_and_time_and_the_oldest_id_is_forgotten_first(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     monkeypatch.setattr(remembered_answers, "MAX_REMEMBERED_IDS", 3)
@@ -727,7 +727,7 @@
         ([(1, LATER), (2, ApplyResult("v0"))], str),  # it is made again
     ],
 )
-def test_a_call_is_told_as_refused_only_where_no_try_of_it_can_be_taken(
+def test_a_call_is_rejected_only_where_no_attempt_of_it_can_be_applied(
     answers: list[tuple[int, Any]], end: type[Any]
 ) -> None:
     made = node()
@@ -767,7 +767,7 @@
     assert len(got) == 1 and type(result) is end and now <= 2100.0
 
 
-def test_an_answer_to_an_earlier_process_is_none_to_this_one_and_calls_are_bounded(
+def test_a_reply_to_an_earlier_process_is_ignored_and_pending_calls_are_bounded(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     monkeypatch.setattr(call_router, "MAX_PENDING_CALLS", 1)
@@ -779,7 +779,7 @@
     assert [type(one) for one in told(made.handle(3.0, 1e12, PUT))] == [Overloaded]
 
 
-def test_the_fleet_goes_by_the_middle_of_a_majoritys_clocks() -> None:
+def test_the_clusters_time_is_the_median_of_a_majoritys_clocks() -> None:
     made = node("abcde")
     assert not made.clock.is_synchronized
     for who, wall in (("b/1", 1e12 + 3_600_000.0), ("c/1", 1e12 + 5.0), ("d/1", 1e12 + 9.0)):
@@ -806,7 +806,7 @@
     return results
 
 
-def test_a_rule_broken_by_what_is_applied_ends_that_groups_promises_in_service(
+def test_a_broken_invariant_stops_only_the_replica_concerned_in_service(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     made = alone_and_leading(False)
@@ -821,19 +821,19 @@
     assert [group for group, replica in made.replicas.items() if replica.stopped is not None] == [at]
 
 
-def test_a_call_bears_its_id_into_the_log() -> None:
+def test_a_repeated_call_is_deduplicated_by_its_id() -> None:
     made = alone_and_leading(True)
     for now in (5001.0, 5002.0):
         assert [one.value for one in carry(made, now, made.handle(now, 1e12, PUT))] == [None]
 
 
-def test_a_store_that_broke_ends_every_copys_promises() -> None:
+def test_a_storage_failure_stops_every_replica() -> None:
     made = alone_and_leading(True)
     made.handle(5001.0, 1e12, StorageFailure(StorageFailed("a", "full")))
     assert all(replica.stopped is not None for replica in made.replicas.values())
 
 
-def test_members_that_are_not_committed_are_not_reported_and_a_lag_that_lasts_is() -> None:
+def test_only_committed_members_and_lasting_lags_are_reported() -> None:
     made = node()
     stub: Any = SimpleNamespace(
         commit=1,
@@ -1779,7 +1779,7 @@
     assert len(made.dump()) + remembered_answers.MAX_REMEMBERED_IDS * 4 * 128 < MOST_SNAPSHOT * 7 / 8
 
 
-def test_remembered_answers_are_bounded_in_bytes_and_all_copies_forget_the_same(
+def test_remembered_answers_are_bounded_in_bytes_and_all_replicas_forget_the_same(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """A snapshot taken of it, and one of a build that had no such bound, come to the same as the whole
