--- a/badgeryoke/cluster/leader_duties.py
+++ b/badgeryoke/cluster/leader_duties.py
@@ -47,7 +47,9 @@
         if replica.group == FLEET:
             parts = self._host.state_machines[FLEET].parts
             placement = parts["placing"]
-            promised = parts["contracts"].promised(wall, wall + parts["rolls"].planning_horizon_ms())
+            promised = parts["contracts"].peak_reserved_rate(
+                wall, wall + parts["rolls"].planning_horizon_ms()
+            )
             load = {**load, "promised": promised}
         behind = {group: one.lagging for group, one in placement.groups.items() if one.lagging}
         for group, led in self._host.replicas.items():
@@ -105,11 +107,11 @@
         commands: list[Command] = []
         for server, limit in connection_limits.items():
             is_known = server in known
-            if is_known and known[server].pool.whole == limit:
+            if is_known and known[server].pool.capacity == limit:
                 continue
             if group_for_key(server_bucket(server), group_count) != group:
                 continue
-            known_limit = known[server].pool.whole if is_known else 0
+            known_limit = known[server].pool.capacity if is_known else 0
             commands.append(
                 SetConnectionLimit(
                     id=f"limit/{server}/{limit}/{known_limit:g}/{state_machine.index}",
--- a/badgeryoke/cluster/state_machine/command_registry.py
+++ b/badgeryoke/cluster/state_machine/command_registry.py
@@ -16,7 +16,9 @@
 from badgeryoke.cluster.invariants import Invariants
 from badgeryoke.cluster.placement import commands as placement_commands
 from badgeryoke.cluster.placement import directory
-from badgeryoke.cluster.reservations import contract
+from badgeryoke.cluster.reservations.admission import ContractRegistry
+from badgeryoke.cluster.reservations.commands import FLEET_COMMANDS, TENANT_COMMANDS
+from badgeryoke.cluster.reservations.guaranteed_rates import GuaranteedRates
 from badgeryoke.cluster.rolling_restart.commands import ROLLING_RESTART_COMMANDS
 from badgeryoke.cluster.rolling_restart.waves import RollingRestarts
 from badgeryoke.cluster.state_machine.part import Command, PartName
@@ -68,11 +70,11 @@
     PartName.KEY_VALUE, key_value.COMMANDS, lambda timings, rules: key_value.KeyValueStore()
 )
 REGISTRY.register_cluster_part(PartName.PLACEMENT, placement_commands.COMMANDS, directory.PlacementDirectory)
-REGISTRY.register_cluster_part(PartName.CONTRACTS, contract.FLEET_COMMANDS, contract.ContractRegistry)
+REGISTRY.register_cluster_part(PartName.CONTRACTS, FLEET_COMMANDS, ContractRegistry)
 REGISTRY.register_cluster_part(
     PartName.ROLLING_RESTARTS, ROLLING_RESTART_COMMANDS, lambda timings, rules: RollingRestarts(rules)
 )
-REGISTRY.register_group_part(PartName.GUARANTEED_RATES, contract.TENANT_COMMANDS, contract.GuaranteedRates)
+REGISTRY.register_group_part(PartName.GUARANTEED_RATES, TENANT_COMMANDS, GuaranteedRates)
 REGISTRY.register_group_part(
     PartName.CONNECTION_LIMITS,
     CONNECTION_LIMIT_COMMANDS,
--- a/tests/cluster/test_golden_cluster.py
+++ b/tests/cluster/test_golden_cluster.py
@@ -39,7 +39,8 @@
 from badgeryoke.cluster.placement import forced_recovery
 from badgeryoke.cluster.placement import state as placement_state
 from badgeryoke.cluster.placement.rendezvous import group_for_key
-from badgeryoke.cluster.reservations import contract
+from badgeryoke.cluster.reservations.contract import ContractState
+from badgeryoke.cluster.reservations.terms import ContractTerms, Window
 from badgeryoke.cluster.rolling_restart.conditions import ClusterConditions
 from badgeryoke.cluster.rolling_restart.transitions import (
     GatewayEvent,
@@ -166,8 +167,8 @@
         messages.GossipUpdate,
         messages.Envelope,
         BootstrapRecord,
-        contract.Window,
-        contract.ContractTerms,
+        Window,
+        ContractTerms,
         ClusterConditions,
         unreported_usage.UsageLine,
         placement_state.ReplicaMove,
@@ -194,7 +195,7 @@
         "rules": Rule,
     }
     values: dict[str, type[Enum]] = {
-        "contract states": contract.ContractState,
+        "contract states": ContractState,
         "roll states told": RestartState,
         "gateway stands told": GatewayPhase,
     }
