--- a/badgeryoke/cluster/placement/repair.py
+++ b/badgeryoke/cluster/placement/repair.py
@@ -71,6 +71,7 @@
     load: int
 
     def is_worth_a_move(self) -> bool:
+        """Whether it serves one zone more, or evens the load without turning the difference around."""
         return self.zones > 0 or (self.zones == 0 and self.load >= MIN_REBALANCE_GAIN)
 
 
