--- a/badgeryoke/cluster/bootstrap.py
+++ b/badgeryoke/cluster/bootstrap.py
@@ -87,7 +87,7 @@
         self._creator_name = min([*self._others, setup.member_name])
         self._no_record: dict[str, _NoRecordAnswer] = {}  # by name
         # The creator's id that was promised an answer, stored as a vote, and how often that changed, as its term.
-        self._promised_to, self._promise_count = saved.vote, saved.term
+        self._promised_to, self._promise_count = saved.voted_for, saved.current_term
         self._past_creators: dict[MemberId, None] = {}  # earlier ids of the creator
         self._unstored_promises: dict[
             int, MemberId
@@ -111,7 +111,7 @@
         match event:
             case MessageReceived(sender=sender, message=message):
                 self._receive(now, sender, message, effects)
-            case RecordsPersisted(group=group, seq=seq) if group == BOOTSTRAP_GROUP:
+            case RecordsPersisted(group=group, sequence=seq) if group == BOOTSTRAP_GROUP:
                 self._on_persisted(seq, effects)
             case StorageFailure(error=error):
                 self.error, self.due = error, math.inf
@@ -210,10 +210,10 @@
         match message:
             case IdentityQuery():
                 self._answer(sender, effects)
-            case Announce(founding=b""):
+            case Announce(bootstrap_record=b""):
                 if self.record is None and self._pending is None:
                     self._no_record[name] = _NoRecordAnswer(now, sender)
-            case Announce(founding=body) | ClusterFounded(founding=body):
+            case Announce(bootstrap_record=body) | ClusterFounded(bootstrap_record=body):
                 self._receive_record(sender, body, effects)
             case _:
                 pass
--- a/badgeryoke/cluster/call_router.py
+++ b/badgeryoke/cluster/call_router.py
@@ -187,8 +187,8 @@
         """The leader as this member's replica knows it, as last heard, else one replica after the other."""
         replica = self._host.replicas.get(group)
         own_id = self._setup.member_id
-        if replica is not None and replica.leader and replica.leader != own_id and round_ % 2 == 1:
-            return replica.leader
+        if replica is not None and replica.leader_id and replica.leader_id != own_id and round_ % 2 == 1:
+            return replica.leader_id
         if round_ == 1 and self._leaders.get(group) in self._membership.alive_ids():
             return self._leaders[group]
         alive = {member_name(one): one for one in self._membership.alive_ids() if one != own_id}
@@ -246,7 +246,7 @@
         group = message.group
 
         def reply(at: float, result: CallResult) -> list[Effect]:
-            leader = self._host.replicas[group].leader if group in self._host.replicas else ""
+            leader = self._host.replicas[group].leader_id if group in self._host.replicas else ""
             is_applied = isinstance(result, ApplyResult)
             fields = [result, None, leader] if is_applied else [None, result, leader]
             return [SendMessage(sender, ForwardedReply(message.token, msgspec.msgpack.encode(fields)))]
--- a/badgeryoke/cluster/leader_duties.py
+++ b/badgeryoke/cluster/leader_duties.py
@@ -54,12 +54,12 @@
         behind = {group: one.lagging for group, one in placement.groups.items() if one.lagging}
         for group, led in self._host.replicas.items():
             if led.leading:
-                behind[group] = led.behind() + self._follower.lagging_for_long(now, group, led)
+                behind[group] = led.lagging_learners() + self._follower.lagging_for_long(now, group, led)
         return LeaderView(
             now,
             wall,
             self._setup.member_id,
-            replica.lead_since,
+            replica.leader_since_ms,
             self._setup.timings,
             self._living(),
             self._membership.dead_for_ms(now),
--- a/badgeryoke/cluster/node.py
+++ b/badgeryoke/cluster/node.py
@@ -148,8 +148,8 @@
             case ForwardedReply() as message:
                 return self.router.on_forwarded_reply(now, cluster_time, sender, message)
             case Ping() | Ack() as message:
-                if message.wall > 0.0:
-                    self.clock.observe(sender, message.wall - wall)
+                if message.wall_clock_ms > 0.0:
+                    self.clock.observe(sender, message.wall_clock_ms - wall)
                 return self._feed_membership(now, wall, event)
             case PingRequest() | Nack():
                 return self._feed_membership(now, wall, event)
@@ -225,7 +225,7 @@
         if self.membership.due <= now:
             effects += self._feed_membership(now, wall, Tick())
         for group, replica in list(self.replicas.items()):
-            if replica.due <= now:
+            if replica.due_ms <= now:
                 effects += self.host.feed(now, group, Tick())
         effects += self.router.run_timers(now, cluster_time)
         if self._timers.leader_tasks_at <= now and self.host.record is not None:
@@ -285,7 +285,7 @@
             self.membership.due,
             self._lease_clients_due(),
             self.router.earliest_timer(),
-            *(replica.due for replica in self.replicas.values()),
+            *(replica.due_ms for replica in self.replicas.values()),
         )
 
     # For operators
@@ -307,12 +307,12 @@
 
 def _replica_status(replica: RaftNode) -> dict[str, Any]:
     return {
-        "leader": replica.leader,
-        "term": replica.term,
-        "commit": replica.commit,
+        "leader": replica.leader_id,
+        "term": replica.current_term,
+        "commit": replica.commit_index,
         "voters": list(replica.config.voters),
         "learners": list(replica.config.learners),
-        "behind": list(replica.behind()) if replica.leading else None,
+        "behind": list(replica.lagging_learners()) if replica.leading else None,
     }
 
 
@@ -338,7 +338,7 @@
 def _with_wall_clock(wall: float, effects: Iterable[SendMessage | LogEvent]) -> list[Effect]:
     """What membership sends, with this machine's wall clock in it."""
     return [
-        SendMessage(effect.to, msgspec.structs.replace(effect.message, wall=wall))
+        SendMessage(effect.to, msgspec.structs.replace(effect.message, wall_clock_ms=wall))
         if isinstance(effect, SendMessage) and isinstance(effect.message, Ping | Ack)
         else effect
         for effect in effects
--- a/badgeryoke/cluster/placement/forced_recovery.py
+++ b/badgeryoke/cluster/placement/forced_recovery.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from badgeryoke.cluster.events import PersistedGroup
-from badgeryoke.cluster.messages import CONFIG, NOTHING, GroupConfiguration, LogEntry, MemberId
+from badgeryoke.cluster.messages import EntryKind, GroupConfiguration, LogEntry, MemberId
 from badgeryoke.cluster.raft.log import RaftLog, encode_config
 
 FORCED_TERM_INCREMENT = 1 << 20  # no member that was given up can have reached a term so much later
@@ -31,14 +31,14 @@
         return saved
     if {survivor, *lost} != set(config.voters):
         return saved
-    term, voters = saved.term + FORCED_TERM_INCREMENT, config.voters
-    entries = [log.at(index) for index in range(log.base + 1, log.last + 1)]
+    term, voters = saved.current_term + FORCED_TERM_INCREMENT, config.voters
+    entries = [log.entry_at(index) for index in range(log.base_index + 1, log.last_index + 1)]
     for member in lost:  # one at a time, as every change of members
         voters = tuple(voter for voter in voters if voter != member)
         body = encode_config(GroupConfiguration(voters))
-        entries.append(LogEntry(log.base + len(entries) + 1, term, CONFIG, body))
+        entries.append(LogEntry(log.base_index + len(entries) + 1, term, EntryKind.CONFIG, body))
     note = msgspec.msgpack.encode(
         {"forced": group, "survivor": survivor, "lost": lost, "at_ms": math.floor(now)}
     )
-    entries.append(LogEntry(log.base + len(entries) + 1, term, NOTHING, note))
+    entries.append(LogEntry(log.base_index + len(entries) + 1, term, EntryKind.NOTHING, note))
     return PersistedGroup(term, survivor, saved.snapshot, tuple(entries))
--- a/badgeryoke/cluster/placement/membership_change.py
+++ b/badgeryoke/cluster/placement/membership_change.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from badgeryoke.cluster.events import ChangeMembership
+from badgeryoke.cluster.events import ChangeMembership, MembershipAction
 from badgeryoke.cluster.invariants import Invariants, Rule
 from badgeryoke.cluster.messages import GroupConfiguration, MemberId
 from badgeryoke.cluster.placement.commands import ReplicaMoved
@@ -32,32 +32,35 @@
         return None
     act, member = step
     voters = tuple(voter for voter in config.voters if voter != member)
-    voters += (member,) if act == "promote" else ()
+    voters += (member,) if act == MembershipAction.PROMOTE else ()
     rules.check(
         Rule.CONFIG_ONE,
         len(set(voters) ^ set(config.voters)) <= 1,
         lambda: f"{group}: {config.voters} to {voters}",
     )
-    if act != "learn" and sum(voter in alive for voter in voters) < GroupConfiguration(voters).majority():
+    if (
+        act != MembershipAction.LEARN
+        and sum(voter in alive for voter in voters) < GroupConfiguration(voters).majority()
+    ):
         return None  # the group could acknowledge nothing afterwards
     return ChangeMembership(f"{act}:{group}:{member}", act, member)
 
 
 def _next_step(
     move: ReplicaMove | None, config: GroupConfiguration, behind: tuple[MemberId, ...]
-) -> tuple[str, MemberId] | None:
-    """The act of a `ChangeMembership`, and for whom."""
+) -> tuple[MembershipAction, MemberId] | None:
+    """The action of a `ChangeMembership`, and for whom."""
     new = move.new if move is not None else ""
     for learner in config.learners:
         if learner != new:
-            return "remove", learner  # of a move that was cancelled
+            return MembershipAction.REMOVE, learner  # of a move that was cancelled
     if move is None:
         return None
     if new and new not in config.voters:
         if new not in config.learners:
-            return "learn", new
-        return None if new in behind else ("promote", new)
-    return ("remove", move.lost) if move.lost in config.voters else None
+            return MembershipAction.LEARN, new
+        return None if new in behind else (MembershipAction.PROMOTE, new)
+    return (MembershipAction.REMOVE, move.lost) if move.lost in config.voters else None
 
 
 def configuration_report(
--- a/badgeryoke/cluster/placement_follower.py
+++ b/badgeryoke/cluster/placement_follower.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from badgeryoke.cluster.call_router import CallResult, CallRouter
-from badgeryoke.cluster.events import ChangeMembership, Effect, TransferLeadership
+from badgeryoke.cluster.events import ChangeMembership, Effect, MembershipAction, TransferLeadership
 from badgeryoke.cluster.invariants import Invariants
 from badgeryoke.cluster.membership.protocol import Membership
 from badgeryoke.cluster.messages import MemberId
@@ -104,14 +104,14 @@
 
     def advance_group(self, now: float, wall: float, group: str, replica: RaftNode) -> list[Effect]:
         """One step of a change of members of a group that is led here, or the report of how they stand."""
-        if replica.commit < replica.config_index:
+        if replica.commit_index < replica.config_index:
             return []
         change = self.placement.next_membership_change(
-            group, replica.config, replica.behind(), self._membership.alive_ids()
+            group, replica.config, replica.lagging_learners(), self._membership.alive_ids()
         )
         if change is None:
             return self._report(now, wall, group, replica)
-        if change.act == "remove" and change.who == self._member_id:
+        if change.action == MembershipAction.REMOVE and change.member == self._member_id:
             return self._host.feed(now, group, TransferLeadership())
         return self._change_members(now, group, change)
 
@@ -143,7 +143,7 @@
         if any(group.lagging for group in self.placement.groups.values()):
             return False
         return not any(
-            replica.leading and (replica.config.learners or replica.lagging())
+            replica.leading and (replica.config.learners or replica.lagging_voters())
             for replica in self._host.replicas.values()
         )
 
@@ -152,11 +152,11 @@
 
         A leader that has only just begun does not know for how long; it counts those not heard of yet.
         """
-        lagging = replica.lagging()
+        lagging = replica.lagging_voters()
         self._lagging_since = {
             key: since for key, since in self._lagging_since.items() if key[0] != group or key[1] in lagging
         }
-        is_new_leader = now - replica.lead_since < LAGGING_AFTER_MS
+        is_new_leader = now - replica.leader_since_ms < LAGGING_AFTER_MS
         return tuple(
             voter
             for voter in lagging
--- a/badgeryoke/cluster/replica_host.py
+++ b/badgeryoke/cluster/replica_host.py
@@ -116,7 +116,7 @@
                 effects += self._handlers.pop(effect.token, _ignore)(now, effect.result)
             else:
                 effects.append(effect)
-        self._timers.bring_forward(replica.due)  # one that has become later costs an idle Tick
+        self._timers.bring_forward(replica.due_ms)  # one that has become later costs an idle Tick
         if group == FLEET and replica.leading:
             self._hasten_rolling_restart(now)
         if self._rules.count != broken_before and not isinstance(event, StorageFailure):
--- a/badgeryoke/gateway/cluster/storage/store.py
+++ b/badgeryoke/gateway/cluster/storage/store.py
@@ -121,37 +121,41 @@
 
     def _write_snapshot(self, group: str, row: GroupRow, snapshot: Snapshot) -> None:
         self._truncate_log_before(group, row, snapshot)
-        row.snapshot_index = snapshot.index
+        row.snapshot_index = snapshot.last_included_index
         configuration = msgspec.msgpack.encode(snapshot.config)
-        row.snapshot_checksum = snapshot_checksum(snapshot.index, snapshot.term, configuration, snapshot.body)
+        row.snapshot_checksum = snapshot_checksum(
+            snapshot.last_included_index, snapshot.last_included_term, configuration, snapshot.body
+        )
         self._database.execute(
             "REPLACE INTO shot VALUES (?, ?, ?, ?, ?)",
-            (group, snapshot.index, snapshot.term, configuration, snapshot.body),
+            (group, snapshot.last_included_index, snapshot.last_included_term, configuration, snapshot.body),
         )
 
     def _truncate_log_before(self, group: str, row: GroupRow, snapshot: Snapshot) -> None:
         """The log behind a snapshot stays only where it holds the entry that the snapshot ends with."""
-        key = group, snapshot.index
+        key = group, snapshot.last_included_index
         entry = self._database.execute(
             "SELECT term, sum FROM entry WHERE grp = ? AND idx = ?", key
         ).fetchone()
-        if snapshot.index < row.snapshot_index:
+        if snapshot.last_included_index < row.snapshot_index:
             raise DamagedRecord(
-                f"group {group}: a snapshot to {snapshot.index} behind one to {row.snapshot_index}"
+                f"group {group}: a snapshot to {snapshot.last_included_index} "
+                f"behind one to {row.snapshot_index}"
             )
-        if entry is not None and entry[0] == snapshot.term:
+        if entry is not None and entry[0] == snapshot.last_included_term:
             self._database.execute("DELETE FROM entry WHERE grp = ? AND idx <= ?", key)
             row.chain_start_checksum = entry[1]
         elif not self._holds_snapshot(group, snapshot):
             self._database.execute("DELETE FROM entry WHERE grp = ?", (group,))
-            row.last_index, row.last_checksum = snapshot.index, checksum(snapshot.index, snapshot.term)
+            row.last_index = snapshot.last_included_index
+            row.last_checksum = checksum(snapshot.last_included_index, snapshot.last_included_term)
             row.chain_start_checksum = row.last_checksum
 
     def _holds_snapshot(self, group: str, snapshot: Snapshot) -> bool:
         """Whether the stored snapshot ends with the same entry."""
         query = "SELECT term FROM shot WHERE grp = ? AND idx = ?"
-        found: object = self._database.execute(query, (group, snapshot.index)).fetchone()
-        return found == (snapshot.term,)
+        found: object = self._database.execute(query, (group, snapshot.last_included_index)).fetchone()
+        return found == (snapshot.last_included_term,)
 
     def _append_entries(self, group: str, row: GroupRow, entries: tuple[LogEntry, ...]) -> None:
         first_index = entries[0].index
--- a/tests/cluster/test_membership.py
+++ b/tests/cluster/test_membership.py
@@ -28,11 +28,10 @@
 from badgeryoke.cluster.membership.member_table import LEFT_GRACE_MULTIPLE
 from badgeryoke.cluster.membership.protocol import Membership
 from badgeryoke.cluster.messages import (
-    CONFIG,
-    NOTHING,
     Ack,
     Announce,
     ClusterFounded,
+    EntryKind,
     GossipUpdate,
     GroupConfiguration,
     IdentityQuery,
@@ -378,13 +377,13 @@
                 continue
             change = self.placing.next_membership_change(group, config, self.behind, alive)
             if change is not None:
-                learners = tuple(who for who in config.learners if who != change.who)
-                voters = tuple(who for who in config.voters if who != change.who)
+                learners = tuple(who for who in config.learners if who != change.member)
+                voters = tuple(who for who in config.voters if who != change.member)
                 made = {
-                    "learn": GroupConfiguration(voters, (*learners, change.who)),
+                    "learn": GroupConfiguration(voters, (*learners, change.member)),
                     "remove": GroupConfiguration(voters, learners),
-                    "promote": GroupConfiguration((*voters, change.who), learners),
-                }[change.act]
+                    "promote": GroupConfiguration((*voters, change.member), learners),
+                }[change.action]
                 assert sum(who in alive for who in made.voters) >= made.majority()
                 self.config[group] = made
                 self.number[group] += 1
@@ -620,10 +619,10 @@
     log = RaftLog.load(made)
     assert (
         log.config == GroupConfiguration(("b/1",))
-        and made.term == 4 + FORCED_TERM_INCREMENT
-        and made.vote == "b/1"
+        and made.current_term == 4 + FORCED_TERM_INCREMENT
+        and made.voted_for == "b/1"
     )
-    assert [entry.kind for entry in made.entries] == [CONFIG, CONFIG, NOTHING]
+    assert [entry.kind for entry in made.entries] == [EntryKind.CONFIG, EntryKind.CONFIG, EntryKind.NOTHING]
     sizes = [len(config.voters) for config in (log.config_at(at) for at in (7, 8, 9)) if config is not None]
     assert sizes == [3, 2, 1]
     assert force_sole_voter(made, "g0", "b/1", ("a/1", "c/1"), 1e12) == made, (
--- a/tests/cluster/test_regressions.py
+++ b/tests/cluster/test_regressions.py
@@ -56,6 +56,7 @@
     HardState,
     LeaveCluster,
     LogEvent,
+    MembershipAction,
     MessageReceived,
     OperationCompleted,
     PersistedGroup,
@@ -75,14 +76,13 @@
 from badgeryoke.cluster.membership.member_table import MemberState
 from badgeryoke.cluster.membership.protocol import Membership
 from badgeryoke.cluster.messages import (
-    COMMAND,
-    CONFIG,
-    VERSION,
+    PROTOCOL_VERSION,
     Ack,
     Announce,
     AppendEntries,
     AppendEntriesReply,
     ClusterFounded,
+    EntryKind,
     Envelope,
     ForwardedCall,
     ForwardedReply,
@@ -108,7 +108,11 @@
 from badgeryoke.cluster.placement.state import GroupPlacement
 from badgeryoke.cluster.placement_follower import LAGGING_AFTER_MS
 from badgeryoke.cluster.raft.log import RaftLog, encode_config
-from badgeryoke.cluster.raft.node import MOST_BODY, MOST_HELD, MOST_SNAPSHOT, RaftNode, Role
+from badgeryoke.cluster.raft.log_replication import MAX_COMMAND_BYTES
+from badgeryoke.cluster.raft.node import RaftNode
+from badgeryoke.cluster.raft.persistence import MAX_WITHHELD_MESSAGES
+from badgeryoke.cluster.raft.snapshot_transfer import MAX_SNAPSHOT_BYTES
+from badgeryoke.cluster.raft.state_types import Role
 from badgeryoke.cluster.reservations import admission
 from badgeryoke.cluster.reservations.admission import ContractRegistry
 from badgeryoke.cluster.reservations.commands import (
@@ -157,8 +161,16 @@
 from badgeryoke.testbed.cluster_simulation.clock import UNIX_MS
 from badgeryoke.testbed.cluster_simulation.fault_plan import Plan
 from badgeryoke.testbed.cluster_simulation.world import FleetWorld, Machine
-from tests.cluster.raft.test_raft import THREE, TIMINGS, Kept, World, alone, sent, stored
 from tests.gateway.test_service import until
+from tests.support.raft_group import (
+    THREE_VOTERS,
+    TIMINGS,
+    RecordingStateMachine,
+    SimulatedGroup,
+    persist_writes,
+    sent_messages,
+    single_replica,
+)
 from tests.support.stand_ins import HOST
 from tests.support.storage import entries, open_existing, write_records
 from tests.support.transport import PING, SHORT_TIMEOUTS, connected_pair, run_with_timeout
@@ -166,31 +178,34 @@
 EMPTY = msgspec.msgpack.encode([])
 
 
-def entry(index: int, term: int, body: bytes = b"x", kind: int = COMMAND) -> LogEntry:
+def entry(index: int, term: int, body: bytes = b"x", kind: int = EntryKind.COMMAND) -> LogEntry:
     return LogEntry(index, term, kind, body)
 
 
-def copy(term: int, *terms: int, vote: str = "") -> tuple[RaftNode, Kept]:
+def copy(term: int, *terms: int, vote: str = "") -> tuple[RaftNode, RecordingStateMachine]:
     """a/1 of three, with entries of these terms; nothing is known as committed."""
-    return alone(
+    return single_replica(
         PersistedGroup(
-            term, vote, Snapshot(0, 0, THREE, EMPTY), tuple(entry(at, one) for at, one in enumerate(terms, 1))
+            term,
+            vote,
+            Snapshot(0, 0, THREE_VOTERS, EMPTY),
+            tuple(entry(at, one) for at, one in enumerate(terms, 1)),
         )
     )
 
 
-def leading(term: int, *terms: int) -> tuple[RaftNode, Kept]:
+def leading(term: int, *terms: int) -> tuple[RaftNode, RecordingStateMachine]:
     """The same as the leader of `term`, which only itself has an entry of yet."""
     replica, machine = copy(term - 1, *terms)
-    replica.handle(replica.due, Tick())
+    replica.handle(replica.due_ms, Tick())
     made = replica.handle(2000.0, MessageReceived("b/1", RequestVoteReply("g", term, True, True)))
-    stored(replica, 2000.0, made)
-    stored(
+    persist_writes(replica, 2000.0, made)
+    persist_writes(
         replica,
         2000.0,
         replica.handle(2000.0, MessageReceived("b/1", RequestVoteReply("g", term, True, False))),
     )
-    assert replica.role is Role.LEADER and replica.term == term
+    assert replica.role is Role.LEADER and replica.current_term == term
     return replica, machine
 
 
@@ -217,20 +232,21 @@
 ) -> None:
     replica, _ = copy(4, 1, 3)
     made = replica.handle(5000.0, MessageReceived("b/1", RequestVote("g", 5, last_index, last_term, pre)))
-    votes = sent(made + stored(replica, 5000.0, made), RequestVoteReply)
-    assert [vote.granted for vote in votes] == [granted]
+    votes = sent_messages(made + persist_writes(replica, 5000.0, made), RequestVoteReply)
+    assert [vote.vote_granted for vote in votes] == [granted]
 
 
 def test_a_vote_of_an_older_term_elects_nobody() -> None:
     replica, _ = copy(4, 1)
     for _ in range(2):  # it stands twice, and has no vote but its own
-        replica.handle(replica.due, Tick())
+        replica.handle(replica.due_ms, Tick())
         made = replica.handle(
-            replica.due - 1.0, MessageReceived("b/1", RequestVoteReply("g", replica.term + 1, True, True))
+            replica.due_ms - 1.0,
+            MessageReceived("b/1", RequestVoteReply("g", replica.current_term + 1, True, True)),
         )
-        stored(replica, replica.due - 1.0, made)
-    assert replica.role is Role.CANDIDATE and replica.term == 6
-    replica.handle(replica.due - 1.0, MessageReceived("c/1", RequestVoteReply("g", 5, True, False)))
+        persist_writes(replica, replica.due_ms - 1.0, made)
+    assert replica.role is Role.CANDIDATE and replica.current_term == 6
+    replica.handle(replica.due_ms - 1.0, MessageReceived("c/1", RequestVoteReply("g", 5, True, False)))
     assert replica.role is Role.CANDIDATE
 
 
@@ -238,8 +254,8 @@
     replica, _ = copy(4, 1)
     held = replica.handle(5000.0, MessageReceived("b/1", RequestVote("g", 5, 9, 9, False)))
     later = replica.handle(5001.0, MessageReceived("c/1", AppendEntries("g", 6, 1, 1, (), 0, 1)))
-    told = stored(replica, 5002.0, held + later)
-    assert replica.term == 6 and not sent(told, RequestVoteReply)
+    told = persist_writes(replica, 5002.0, held + later)
+    assert replica.current_term == 6 and not sent_messages(told, RequestVoteReply)
 
 
 def test_a_late_word_to_stand_is_not_heeded() -> None:
@@ -247,7 +263,7 @@
     replica.handle(10.0, MessageReceived("b/1", AppendEntries("g", 5, 1, 1, (), 0, 1)))
     for who, term in (("b/1", 4), ("c/1", 5)):
         replica.handle(11.0, MessageReceived(who, TimeoutNow("g", term)))
-        assert replica.role is Role.FOLLOWER and replica.term == 5
+        assert replica.role is Role.FOLLOWER and replica.current_term == 5
     replica.handle(12.0, MessageReceived("b/1", TimeoutNow("g", 5)))
     assert replica.role is Role.CANDIDATE
 
@@ -268,9 +284,9 @@
         AppendEntriesReply("g", 5, True, 4, 99),
     ):  # to a round that never began
         replica.handle(2003.0, MessageReceived("c/1", wrong))
-        assert match(replica, "c/1") == 0 and replica.commit == 0 and not machine.rows
+        assert match(replica, "c/1") == 0 and replica.commit_index == 0 and not machine.rows
     replica.handle(2004.0, MessageReceived("c/1", AppendEntriesReply("g", 5, True, 4, 1)))
-    assert replica.commit == 4
+    assert replica.commit_index == 4
 
 
 def test_a_round_that_never_began_answers_no_read() -> None:
@@ -291,9 +307,9 @@
 
 def test_members_change_only_behind_an_entry_of_the_leaders_own_term() -> None:
     replica, _ = leading(5, 1)
-    made = replica.handle(2001.0, ChangeMembership("t", "learn", "d/1"))
+    made = replica.handle(2001.0, ChangeMembership("t", MembershipAction.LEARN, "d/1"))
     assert [type(one.result) for one in made if isinstance(one, OperationCompleted)] == [WrongState]
-    assert replica.config == THREE
+    assert replica.config == THREE_VOTERS
 
 
 def test_the_lead_goes_to_nobody_who_lacks_an_entry() -> None:
@@ -301,11 +317,11 @@
     made = replica.handle(2001.0, MessageReceived("b/1", AppendEntriesReply("g", 5, True, 2, 1)))
     made += replica.handle(2002.0, ProposeCommand("p", b"p"))
     made += replica.handle(2003.0, TransferLeadership("b/1"))
-    stored(replica, 2003.0, made)
-    assert not sent(made, TimeoutNow)
+    persist_writes(replica, 2003.0, made)
+    assert not sent_messages(made, TimeoutNow)
     assert isinstance(replica.handle(2004.0, ProposeCommand("q", b"q"))[-1].result, NoLeader)  # type: ignore[union-attr]
     made = replica.handle(2005.0, MessageReceived("b/1", AppendEntriesReply("g", 5, True, 3, 1)))
-    assert sent(made, TimeoutNow) == [TimeoutNow("g", 5)]
+    assert sent_messages(made, TimeoutNow) == [TimeoutNow("g", 5)]
 
 
 # What a follower takes
@@ -315,7 +331,7 @@
 def test_a_follower_commits_only_what_matches_the_leaders_log() -> None:
     replica, machine = copy(4, 1, 2, 2)
     replica.handle(10.0, MessageReceived("b/1", AppendEntries("g", 5, 1, 1, (), 3, 1)))
-    assert replica.commit == 1 and machine.rows == [(1, b"x")]
+    assert replica.commit_index == 1 and machine.rows == [(1, b"x")]
 
 
 def test_what_was_cut_off_does_not_count_as_stored() -> None:
@@ -325,8 +341,8 @@
     made = replica.handle(
         10.0, MessageReceived("b/1", AppendEntries("g", 5, 1, 1, (entry(2, 5), entry(3, 5)), 0, 1))
     )
-    assert [one.index for one in sent(made, AppendEntriesReply)] == [1]
-    assert 3 in [one.index for one in sent(stored(replica, 11.0, made), AppendEntriesReply)]
+    assert [one.index for one in sent_messages(made, AppendEntriesReply)] == [1]
+    assert 3 in [one.index for one in sent_messages(persist_writes(replica, 11.0, made), AppendEntriesReply)]
 
 
 def test_a_store_under_way_makes_nothing_safe_that_was_cut_meanwhile() -> None:
@@ -337,14 +353,16 @@
     second = replica.handle(
         11.0, MessageReceived("c/1", AppendEntries("g", 6, 1, 1, (entry(2, 6), entry(3, 6)), 0, 1))
     )
-    told = stored(replica, 12.0, first)
+    told = persist_writes(replica, 12.0, first)
     told += replica.handle(13.0, MessageReceived("c/1", AppendEntries("g", 6, 3, 6, (), 0, 2)))
-    assert max((one.index for one in sent(told, AppendEntriesReply)), default=0) <= 1
-    assert 3 in [one.index for one in sent(stored(replica, 14.0, second), AppendEntriesReply)]
+    assert max((one.index for one in sent_messages(told, AppendEntriesReply)), default=0) <= 1
+    assert 3 in [
+        one.index for one in sent_messages(persist_writes(replica, 14.0, second), AppendEntriesReply)
+    ]
 
 
 def pieces(
-    index: int, index_term: int, body: bytes, config: GroupConfiguration = THREE
+    index: int, index_term: int, body: bytes, config: GroupConfiguration = THREE_VOTERS
 ) -> Callable[..., InstallSnapshotChunk]:
     return lambda term, offset, size: InstallSnapshotChunk(
         "g", term, index, index_term, config, offset, len(body), body[offset : offset + size], 1
@@ -356,9 +374,11 @@
     replica, machine = copy(4, 1, 2, 2, 2)
     body = msgspec.msgpack.encode([(1, b"x"), (2, b"y"), (3, b"z")])
     made = replica.handle(10.0, MessageReceived("b/1", pieces(3, 5, body)(6, 0, 99)))
-    assert (replica.last, replica.commit, machine.rows[-1]) == (3, 3, (3, b"z"))
-    assert not [one for one in sent(made, AppendEntriesReply) if one.index]  # neither stored nor told
-    assert 3 in [one.index for one in sent(stored(replica, 11.0, made), AppendEntriesReply)]
+    assert (replica.last_log_index, replica.commit_index, machine.rows[-1]) == (3, 3, (3, b"z"))
+    assert not [
+        one for one in sent_messages(made, AppendEntriesReply) if one.index
+    ]  # neither stored nor told
+    assert 3 in [one.index for one in sent_messages(persist_writes(replica, 11.0, made), AppendEntriesReply)]
 
 
 @pytest.mark.parametrize(
@@ -375,10 +395,12 @@
     replica, _ = copy(4, 1)
     first = pieces(3, 5, b"yyyyyyyyyy")
     assert (
-        sent(replica.handle(10.0, MessageReceived("b/1", first(5, 0, 4))), InstallSnapshotChunkReply)[0].held
+        sent_messages(
+            replica.handle(10.0, MessageReceived("b/1", first(5, 0, 4))), InstallSnapshotChunkReply
+        )[0].received_bytes
         == 4
     )
-    assert sent(replica.handle(11.0, other()), InstallSnapshotChunkReply)[0].held == 3
+    assert sent_messages(replica.handle(11.0, other()), InstallSnapshotChunkReply)[0].received_bytes == 3
 
 
 def test_a_snapshot_bears_the_members_and_the_term_of_its_last_entry() -> None:
@@ -389,13 +411,18 @@
     saved = PersistedGroup(
         4,
         "",
-        Snapshot(0, 0, THREE, EMPTY),
+        Snapshot(0, 0, THREE_VOTERS, EMPTY),
         (
             *(entry(at, one) for at, one in enumerate(terms, 1)),
-            entry(count + 1, 2, encode_config(GroupConfiguration(THREE.voters, ("d/1",))), CONFIG),
+            entry(
+                count + 1,
+                2,
+                encode_config(GroupConfiguration(THREE_VOTERS.voters, ("d/1",))),
+                EntryKind.CONFIG,
+            ),
         ),
     )
-    replica, _ = alone(saved)
+    replica, _ = single_replica(saved)
     made = replica.handle(10.0, MessageReceived("b/1", AppendEntries("g", 5, count + 1, 2, (), count, 1)))
     shots = [
         record
@@ -404,29 +431,31 @@
         for record in one.records
         if isinstance(record, Snapshot)
     ]
-    assert [(shot.index, shot.term, shot.config) for shot in shots] == [(count, 1, THREE)]
+    assert [(shot.last_included_index, shot.last_included_term, shot.config) for shot in shots] == [
+        (count, 1, THREE_VOTERS)
+    ]
 
 
 def test_a_log_is_loaded_without_entries_that_a_snapshot_overtook() -> None:
-    saved = PersistedGroup(5, "", Snapshot(3, 4, THREE, EMPTY), (entry(4, 2), entry(5, 2)))
-    assert RaftLog.load(saved).last == 3
+    saved = PersistedGroup(5, "", Snapshot(3, 4, THREE_VOTERS, EMPTY), (entry(4, 2), entry(5, 2)))
+    assert RaftLog.load(saved).last_index == 3
 
 
 def test_a_batch_is_bounded_in_bytes_and_a_refusal_points_behind_what_is_committed() -> None:
-    log = RaftLog(0, 0, THREE, tuple(entry(at, 1, b"x" * 100) for at in range(1, 9)))
-    assert len(log.some(1, 8, 250)) == 2 and len(log.some(1, 8, 10)) == 1
+    log = RaftLog(0, 0, THREE_VOTERS, tuple(entry(at, 1, b"x" * 100) for at in range(1, 9)))
+    assert len(log.entries_from(1, 8, 250)) == 2 and len(log.entries_from(1, 8, 10)) == 1
     assert log.first_of_term(8, 5) == 5
 
 
 def test_a_long_body_is_refused_and_what_waits_for_the_store_is_bounded() -> None:
     replica, _ = leading(5, 1)
-    made = replica.handle(2001.0, ProposeCommand("p", b"x" * (MOST_BODY + 1)))
+    made = replica.handle(2001.0, ProposeCommand("p", b"x" * (MAX_COMMAND_BYTES + 1)))
     assert [type(one.result) for one in made if isinstance(one, OperationCompleted)] == [InvalidCall]
     follower, _ = copy(4, 1)
     follower.handle(10.0, MessageReceived("b/1", AppendEntries("g", 5, 1, 1, (entry(2, 5),), 0, 1)))
-    for round_ in range(2, MOST_HELD + 10):
+    for round_ in range(2, MAX_WITHHELD_MESSAGES + 10):
         follower.handle(10.0, MessageReceived("b/1", AppendEntries("g", 5, 1, 1, (entry(2, 5),), 0, round_)))
-    assert len(follower._held) == MOST_HELD
+    assert len(follower._withheld_messages) == MAX_WITHHELD_MESSAGES
 
 
 # Who lives, how a fleet is formed, where its copies are
@@ -519,12 +548,12 @@
     config = GroupConfiguration(made.groups["g0"].voters)
     acts = []
     while (change := made.next_membership_change("g0", config, (), alive)) is not None:
-        acts.append(change.act)
+        acts.append(change.action)
         config = {
             "learn": GroupConfiguration(config.voters, (new,)),
             "promote": GroupConfiguration((*config.voters, new)),
             "remove": GroupConfiguration(tuple(who for who in config.voters if who != lost)),
-        }[change.act]
+        }[change.action]
     assert acts == ["learn", "promote", "remove"]
     gone = tuple(who for who in made.groups["g0"].voters if who != lost)
     made.apply(0.0, ReplicaMoved(id="2", group="g0", voters=gone, number=1))
@@ -817,7 +846,9 @@
     results = told(effects)
     for one in effects:
         if isinstance(one, PersistRecords):
-            results += carry(made, now, made.handle(now, 1e12 + now, RecordsPersisted(one.group, one.seq)))
+            results += carry(
+                made, now, made.handle(now, 1e12 + now, RecordsPersisted(one.group, one.sequence))
+            )
     return results
 
 
@@ -833,7 +864,7 @@
 
     monkeypatch.setattr(key_value.KeyValueStore, "apply", breaks)
     carry(made, 5001.0, made.handle(5001.0, 1e12, PUT))
-    assert [group for group, replica in made.replicas.items() if replica.stopped is not None] == [at]
+    assert [group for group, replica in made.replicas.items() if replica.stop_reason is not None] == [at]
 
 
 def test_a_repeated_call_is_deduplicated_by_its_id() -> None:
@@ -845,18 +876,18 @@
 def test_a_storage_failure_stops_every_replica() -> None:
     made = alone_and_leading(True)
     made.handle(5001.0, 1e12, StorageFailure(StorageFailed("a", "full")))
-    assert all(replica.stopped is not None for replica in made.replicas.values())
+    assert all(replica.stop_reason is not None for replica in made.replicas.values())
 
 
 def test_only_committed_members_and_lasting_lags_are_reported() -> None:
     made = node()
     stub: Any = SimpleNamespace(
-        commit=1,
+        commit_index=1,
         config_index=2,
         config=GroupConfiguration(("a/1",)),
-        behind=lambda: (),
-        lead_since=-1e9,
-        lagging=lambda: ("b/1",),
+        lagging_learners=lambda: (),
+        leader_since_ms=-1e9,
+        lagging_voters=lambda: ("b/1",),
     )
     follower = made.placement_follower
     follower.placement.groups["g0"] = GroupPlacement(("a/1", "b/1"))
@@ -948,8 +979,8 @@
 )
 def test_a_row_that_is_not_as_it_was_written_makes_a_newcomer(tmp_path: Path, spoil: str) -> None:
     disk = open_existing(tmp_path)
-    write_records(disk, "g", HardState(3, "b/1"), entries(1, 5), Snapshot(2, 1, THREE, b"x"))
-    write_records(disk, "h", Snapshot(7, 1, THREE, b"y"))
+    write_records(disk, "g", HardState(3, "b/1"), entries(1, 5), Snapshot(2, 1, THREE_VOTERS, b"x"))
+    write_records(disk, "h", Snapshot(7, 1, THREE_VOTERS, b"y"))
     disk._database.execute("CREATE TABLE old AS SELECT * FROM entry WHERE grp = 'g' AND idx = 4")
     write_records(disk, "g", entries(4, 5, 2))
     disk._database.execute(spoil)
@@ -992,7 +1023,7 @@
 
 
 def test_another_version_is_turned_away() -> None:
-    for version in (VERSION - 1, VERSION + 1):
+    for version in (PROTOCOL_VERSION - 1, PROTOCOL_VERSION + 1):
         sent = msgspec.msgpack.encode(Envelope(version, "f", "a/1", "b", ()))
         assert isinstance(decode_envelope(sent, "f", "a"), BadFrame)
 
@@ -1799,7 +1830,7 @@
             made.apply(0.0, index, encode_command(0.0, wide_promise(number % 100, f"again{number}"))).error
             is None
         )
-    assert len(made.dump()) + remembered_answers.MAX_REMEMBERED_IDS * 4 * 128 < MOST_SNAPSHOT * 7 / 8
+    assert len(made.dump()) + remembered_answers.MAX_REMEMBERED_IDS * 4 * 128 < MAX_SNAPSHOT_BYTES * 7 / 8
 
 
 def test_remembered_answers_are_bounded_in_bytes_and_all_replicas_forget_the_same(
@@ -1859,7 +1890,7 @@
             appends, made = appends + len(to_c), []
             for message in to_c:
                 told = other.handle(now, MessageReceived("a/1", message))
-                for one in told + stored(other, now, told):
+                for one in told + persist_writes(other, now, told):
                     if isinstance(one, SendMessage) and one.to == "a/1":
                         made += replica.handle(now, MessageReceived("c/1", one.message))
     return out, appends
@@ -1867,9 +1898,11 @@
 
 def follower(*terms: int) -> RaftNode:
     saved = PersistedGroup(
-        5, "", Snapshot(0, 0, THREE, EMPTY), tuple(entry(at, one) for at, one in enumerate(terms, 1))
+        5, "", Snapshot(0, 0, THREE_VOTERS, EMPTY), tuple(entry(at, one) for at, one in enumerate(terms, 1))
+    )
+    return RaftNode(
+        "g", "c/1", saved, RecordingStateMachine(SimulatedGroup(0, 0)), TIMINGS, Random(1), Invariants(), 0.0
     )
-    return RaftNode("g", "c/1", saved, Kept(World(0, 0)), TIMINGS, Random(1), Invariants(), 0.0)
 
 
 def errors(effects: list[Effect]) -> list[str]:
@@ -1903,7 +1936,7 @@
     ]
     assert [one.message for one in late] == [AppendEntriesReply("g", 5, False, 1, 1)]
     out, _ = beats(replica, other, 2100.0, 3)
-    assert match(replica, "c/1") == 4 and other.last == 4
+    assert match(replica, "c/1") == 4 and other.last_log_index == 4
     for now in (2500.0, 2501.0, 2502.0):
         out += replica.handle(now, MessageReceived("c/1", late[0].message))
     out += beats(replica, other, 2600.0, 3)[0]
@@ -1914,7 +1947,7 @@
     """Else an operator is told to see to a disk that has nothing."""
     replica, _ = copy(4, 1)
     replica.handle(1.0, StorageFailure(InvariantBroken("g", "ID_ONCE: planted")))
-    assert isinstance(replica.stopped, InvariantBroken)
+    assert isinstance(replica.stop_reason, InvariantBroken)
 
 
 def test_a_lease_ask_that_comes_again_late_takes_no_part() -> None:
--- a/tests/support/cluster_digest.py
+++ b/tests/support/cluster_digest.py
@@ -30,8 +30,8 @@
 )
 from badgeryoke.cluster.invariants import Invariants, Rule
 from badgeryoke.cluster.messages import (
-    COMMAND,
     AppendEntries,
+    EntryKind,
     ForwardedCall,
     ForwardedReply,
     InstallSnapshotChunk,
@@ -84,7 +84,7 @@
 
 def entry_values(entry: LogEntry) -> object:
     """An entry of a log; a configuration's bytes hold no name."""
-    body = body_values(entry.body) if entry.kind == COMMAND else entry.body
+    body = body_values(entry.body) if entry.kind == EntryKind.COMMAND else entry.body
     return entry.index, entry.term, entry.kind, body
 
 
@@ -103,7 +103,7 @@
         return [entry_values(entry) for entry in record.entries]
     if isinstance(record, Snapshot):
         body = record.body if group == BOOTSTRAP_GROUP else state_values(record.body)
-        return record.index, record.term, record.config, body
+        return record.last_included_index, record.last_included_term, record.config, body
     return record
 
 
@@ -114,23 +114,23 @@
             return (
                 message.group,
                 message.term,
-                message.previous,
-                message.previous_term,
+                message.prev_log_index,
+                message.prev_log_term,
                 [entry_values(entry) for entry in message.entries],
-                message.commit,
-                message.round,
+                message.leader_commit,
+                message.heartbeat_round,
             )
         case InstallSnapshotChunk():
             return (
                 message.group,
                 message.term,
-                message.index,
-                message.index_term,
+                message.last_included_index,
+                message.last_included_term,
                 message.config,
-                message.round,
+                message.heartbeat_round,
             )
         case InstallSnapshotChunkReply():
-            return message.group, message.term, message.index, message.round
+            return message.group, message.term, message.last_included_index, message.heartbeat_round
         case ForwardedCall():
             return message.token, message.group, body_values(message.body), message.hops
         case ForwardedReply():
@@ -147,7 +147,7 @@
             return (
                 "store",
                 effect.group,
-                effect.seq,
+                effect.sequence,
                 [record_values(one, effect.group) for one in effect.records],
             )
         case OperationCompleted():
@@ -174,7 +174,7 @@
 def saved_values(saved: PersistedGroup, group: str) -> object:
     """What a store holds of a group."""
     snapshot = None if saved.snapshot is None else record_values(saved.snapshot, group)
-    return saved.term, saved.vote, snapshot, [entry_values(entry) for entry in saved.entries]
+    return saved.current_term, saved.voted_for, snapshot, [entry_values(entry) for entry in saved.entries]
 
 
 def add_effects(digest: Digest, now: float, effects: Iterable[object]) -> None:
--- a/tests/support/cluster_history.py
+++ b/tests/support/cluster_history.py
@@ -19,8 +19,7 @@
 from badgeryoke.cluster.connection_limits.holders import server_bucket
 from badgeryoke.cluster.events import DiscardGroup, Entries, HardState, PersistRecords, Snapshot
 from badgeryoke.cluster.invariants import Invariants
-from badgeryoke.cluster.messages import COMMAND, NOTHING, LogEntry
-from badgeryoke.cluster.messages import CONFIG as CHANGE
+from badgeryoke.cluster.messages import EntryKind, LogEntry
 from badgeryoke.cluster.node_setup import BOOTSTRAP_GROUP as FOUNDING_GROUP
 from badgeryoke.cluster.placement import commands as placement_commands
 from badgeryoke.cluster.raft.log import encode_config
@@ -289,13 +288,13 @@
 
 def history_entries(group: str) -> tuple[LogEntry, ...]:
     """The log: what a new leader begins with, then the commands."""
-    made = [LogEntry(index=1, term=2, kind=NOTHING, body=b"")]
+    made = [LogEntry(index=1, term=2, kind=EntryKind.NOTHING, body=b"")]
     for index, (after_ms, command) in enumerate(HISTORIES[group], 2):
         made.append(
             LogEntry(
                 index=index,
                 term=2 + index // 8,
-                kind=COMMAND,
+                kind=EntryKind.COMMAND,
                 body=encode_command(START_MS + after_ms, command),
             )
         )
@@ -304,19 +303,23 @@
 
 def apply_entries(state: GroupStateMachine, entries: tuple[LogEntry, ...]) -> list[ApplyResult]:
     """Bring a log's commands to a state."""
-    return [state.apply(1000.0, entry.index, entry.body) for entry in entries if entry.kind == COMMAND]
+    return [
+        state.apply(1000.0, entry.index, entry.body) for entry in entries if entry.kind == EntryKind.COMMAND
+    ]
 
 
 def first_snapshot(group: str) -> Snapshot:
     """What a founder stores before a group's first entry."""
-    return Snapshot(index=0, term=0, config=CONFIG, body=new_state(group).dump())
+    return Snapshot(last_included_index=0, last_included_term=0, config=CONFIG, body=new_state(group).dump())
 
 
 def write_store(folder: Path) -> ClusterStorage:
     """A store with groups of every kind, part of it still in SQLite's write-ahead log.  It stays open."""
     disk = open_storage(folder, CLUSTER, MEMBER, new_incarnation=lambda: INCARNATION)
     assert isinstance(disk, ClusterStorage), disk
-    founding = Snapshot(index=1, term=1, config=CONFIG, body=msgspec.msgpack.encode(FOUNDING))
+    founding = Snapshot(
+        last_included_index=1, last_included_term=1, config=CONFIG, body=msgspec.msgpack.encode(FOUNDING)
+    )
     disk.write([PersistRecords(FOUNDING_GROUP, 1, (founding,))])
     for group in HISTORIES:
         entries = history_entries(group)
@@ -325,7 +328,11 @@
         apply_entries(state, entries[:SNAPSHOT_AT])
         last = entries[SNAPSHOT_AT - 1]
         disk.write(
-            [PersistRecords(group, 2, (HardState(term=2, vote="a/1"), Entries(entries[:SNAPSHOT_AT])))]
+            [
+                PersistRecords(
+                    group, 2, (HardState(current_term=2, voted_for="a/1"), Entries(entries[:SNAPSHOT_AT]))
+                )
+            ]
         )
         disk.write([PersistRecords(group, 3, (Snapshot(last.index, last.term, CONFIG, state.dump()),))])
     disk._database.execute("PRAGMA wal_checkpoint(TRUNCATE)")
@@ -333,12 +340,17 @@
         disk.write(
             [
                 PersistRecords(
-                    group, 4, (HardState(term=7, vote="c/3"), Entries(history_entries(group)[SNAPSHOT_AT:]))
+                    group,
+                    4,
+                    (
+                        HardState(current_term=7, voted_for="c/3"),
+                        Entries(history_entries(group)[SNAPSHOT_AT:]),
+                    ),
                 )
             ]
         )
-    change = LogEntry(index=4, term=4, kind=CHANGE, body=encode_config(CONFIG))
+    change = LogEntry(index=4, term=4, kind=EntryKind.CONFIG, body=encode_config(CONFIG))
     start = (first_snapshot("g0"), Entries((*history_entries(OTHER)[:3], change)))
-    disk.write([PersistRecords("g0", 1, (HardState(term=4, vote="b/2"), *start))])
+    disk.write([PersistRecords("g0", 1, (HardState(current_term=4, voted_for="b/2"), *start))])
     disk.write([PersistRecords("g2", 1, start), PersistRecords("g2", 2, (DiscardGroup(),))])
     return disk
--- a/tests/support/member_network.py
+++ b/tests/support/member_network.py
@@ -118,7 +118,7 @@
                     self.frozen[name].append((who, event))
             elif isinstance(event, PersistRecords):
                 self.disk[name] = apply_records(self.disk[name], event)
-                self.give(name, RecordsPersisted(event.group, event.seq))
+                self.give(name, RecordsPersisted(event.group, event.sequence))
             elif not isinstance(event, Tick) or self.now >= self.nodes[name].due:
                 self.give(name, event)
             else:
@@ -145,7 +145,7 @@
 def apply_records(saved: PersistedGroup, event: PersistRecords) -> PersistedGroup:
     for record in event.records:
         if isinstance(record, HardState):
-            saved = PersistedGroup(record.term, record.vote, saved.snapshot, saved.entries)
+            saved = PersistedGroup(record.current_term, record.voted_for, saved.snapshot, saved.entries)
         elif isinstance(record, Snapshot):
-            saved = PersistedGroup(saved.term, saved.vote, record, ())
+            saved = PersistedGroup(saved.current_term, saved.voted_for, record, ())
     return saved
