--- a/badgeryoke/cluster/reservations/admission.py
+++ b/badgeryoke/cluster/reservations/admission.py
@@ -281,7 +281,7 @@
             SetCapacity(
                 id=f"capacity/{self.reserved_capacity.revision}",
                 capacity=capacity,
-                reserve_fraction=view.load.get("reserve", 1.0 / max(len(view.halls), MIN_ZONES)),
+                reserve_fraction=view.load.get("reserve", 1.0 / max(len(view.zones), MIN_ZONES)),
                 unreserved_rate=view.load.get("floor", DEFAULT_UNRESERVED_FRACTION * capacity),
             )
         ]
--- a/badgeryoke/cluster/rolling_restart/observation.py
+++ b/badgeryoke/cluster/rolling_restart/observation.py
@@ -60,8 +60,8 @@
 
 def _emptied_zones(view: LeaderView, unavailable: set[str], may_empty_zone: bool) -> int:
     alive = _alive_names(view)
-    served = {view.halls[name] for name in alive if name in view.halls}
-    remaining = {view.halls[name] for name in alive - unavailable if name in view.halls}
+    served = {view.zones[name] for name in alive if name in view.zones}
+    remaining = {view.zones[name] for name in alive - unavailable if name in view.zones}
     return 0 if may_empty_zone and remaining else len(served - remaining)
 
 
--- a/badgeryoke/cluster/unreported_usage.py
+++ b/badgeryoke/cluster/unreported_usage.py
@@ -217,7 +217,7 @@
                 outcome_known=False,
             )
             for name, batch in self._batches.items()
-            if batch.reporter and view.dead_for.get(batch.reporter, 0.0) >= view.timings.repair_after_ms
+            if batch.reporter and view.dead_for_ms.get(batch.reporter, 0.0) >= view.timings.repair_after_ms
         ]
 
     def seen(self, now: float) -> None:
--- a/badgeryoke/gateway/cluster/connection_leases.py
+++ b/badgeryoke/gateway/cluster/connection_leases.py
@@ -81,13 +81,15 @@
         holder = ConnectionLeaseHolder(
             process_id, node.setup.timings, invariants, self.monotonic_ms(), self.only_process
         )
-        agent = RollingRestartAgent(node.setup.me, process_id, len(node.setup.members), self._check_soon)
+        agent = RollingRestartAgent(
+            node.setup.member_name, process_id, len(node.setup.members), self._check_soon
+        )
         self._node, self._holder = node, holder
         self._duties = RollingRestartDuties(agent, node, holder, self._gateway)
-        node.limits = dict(self._limits.listed_limits)
+        node.connection_limits = dict(self._limits.listed_limits)
         if not node.setup.capacity:
             node.load.pop("capacity", None)  # not known: a rolling restart does not judge by it
-        node.holders += [self, agent]
+        node.lease_clients += [self, agent]
         self._check_periodically()
 
     # Upstreams.
@@ -109,7 +111,7 @@
         """Discovery's list: whoever leads a group keeps the limits of these."""
         self._limits.update(servers)
         if self._node is not None:
-            self._node.limits = dict(self._limits.listed_limits)
+            self._node.connection_limits = dict(self._limits.listed_limits)
 
     def close_socket(self, lease: UpstreamLease, connection: socket.socket) -> None:
         """Close this side; the connection counts until the server has closed its own."""
--- a/badgeryoke/gateway/cluster/server_limits.py
+++ b/badgeryoke/gateway/cluster/server_limits.py
@@ -77,7 +77,7 @@
 
     def _unlisted_servers(self, node: ClusterNode) -> Iterable[tuple[str, int]]:
         """Servers without leases that no list here names, and the index of their group's state."""
-        for group, state in node.states.items():
+        for group, state in node.state_machines.items():
             if group == FLEET or not node.replicas[group].leading:
                 continue
             for server, limited in state.parts["connections"].servers.items():
--- a/badgeryoke/gateway/cluster/service.py
+++ b/badgeryoke/gateway/cluster/service.py
@@ -72,7 +72,7 @@
         self.storage_failure: ClusterError | None = None
         self.running: RunningMember | None = None
         self._node_factory: NodeFactory = node_factory or ClusterNode
-        self._invariants = Invariants(strict=False, noted=_log_broken_invariant)
+        self._invariants = Invariants(strict=False, on_broken=_log_broken_invariant)
         self._calls = PendingCalls(self.member)
         self._loop = asyncio.get_running_loop()
         self._start_task: asyncio.Task[None] | None = None
@@ -130,8 +130,8 @@
             log.error("%s", fault)
         setup = node_setup(self.settings, self.member, storage.incarnation)
         if self.connection_leases is not None:
-            setup = replace(setup, idle_ms=self.connection_leases.idle_ms)
-        force_groups(self.settings, storage, setup.id, self.clock.unix_ms)
+            setup = replace(setup, connection_idle_ms=self.connection_leases.idle_ms)
+        force_groups(self.settings, storage, setup.member_id, self.clock.unix_ms)
         running = self.running = RunningMember(
             setup, storage, self.clock, self._calls, self._fail, self._on_storage_failure
         )
--- a/badgeryoke/gateway/cluster/settings.py
+++ b/badgeryoke/gateway/cluster/settings.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from badgeryoke.cluster.timings import Timings
-from badgeryoke.cluster.timings import faults as timing_faults
+from badgeryoke.cluster.timings import find_problems as timing_faults
 from badgeryoke.gateway.address import parse_address
 from badgeryoke.gateway.config.struct_validation import malformed_values, unknown_keys
 
--- a/badgeryoke/testbed/cluster_simulation/gateway.py
+++ b/badgeryoke/testbed/cluster_simulation/gateway.py
@@ -547,7 +547,7 @@
                 or not node.replicas[FLEET].leading
             ):
                 continue
-            roll = node.states[FLEET].parts["rolls"].active
+            roll = node.state_machines[FLEET].parts["rolls"].active
             if roll is None:
                 continue
             stands = [one.phase.value for one in roll.gateways.values()]
@@ -583,7 +583,7 @@
         true, rolled, keeper, node = self._calendar.now, side.rolled, side.keeper, machine.node
         assert node is not None
         keeper.need_multiple, keeper.draining = rolled.need_multiple, rolled.must_not_lead
-        node.lead_nothing = rolled.must_not_lead
+        node.avoid_leadership = rolled.must_not_lead
         groups = node.replicas.items()
         drained = rolled.paused and side.paused_at < true - FRONT_MS
         whole = all(
--- a/tests/cluster/reservations/test_admission.py
+++ b/tests/cluster/reservations/test_admission.py
@@ -76,7 +76,7 @@
     registry = registry_with_capacity()
     before = registry.dump()
     error = propose(registry, 5.0, "a", terms).error
-    assert isinstance(error, InvalidCall) and key in error.what and registry.dump() == before
+    assert isinstance(error, InvalidCall) and key in error.detail and registry.dump() == before
 
 
 def test_a_contract_goes_through_its_states_once_for_each_window() -> None:
@@ -133,7 +133,7 @@
     )
     too_soon = ChangeContract(id="z", contract="b", terms=later, effective_from_ms=50_002.0 + LEASE_TAIL_MS)
     error = registry.apply(50_002.0, too_soon).error
-    assert isinstance(error, InvalidCall) and "holds_from_ms" in error.what
+    assert isinstance(error, InvalidCall) and "holds_from_ms" in error.detail
     assert isinstance(registry.apply(50_002.0, CancelContract(id="x", contract="no")).error, NotFound)
 
 
--- a/tests/cluster/test_behaviour_digests.py
+++ b/tests/cluster/test_behaviour_digests.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from badgeryoke.cluster.bootstrap import BootstrapRecord
+from badgeryoke.cluster.bootstrap_record import BootstrapRecord
 from badgeryoke.cluster.connection_limits.commands import (
     MAX_LIMIT,
     LeaseReference,
@@ -73,17 +73,16 @@
 )
 from badgeryoke.cluster.node import ClusterNode
 from badgeryoke.cluster.node_setup import NodeSetup
-from badgeryoke.cluster.placement.directory import (
+from badgeryoke.cluster.placement.commands import (
     CancelMove,
     EnrolMember,
     ReadPlacement,
     ReplaceReplica,
     ReplicaMoved,
-    copies_for,
-    first_placing,
-    forced,
-    group_of,
 )
+from badgeryoke.cluster.placement.forced_recovery import force_sole_voter
+from badgeryoke.cluster.placement.initial_placement import initial_placement, replica_count
+from badgeryoke.cluster.placement.rendezvous import group_for_key
 from badgeryoke.cluster.raft.log import encode_config
 from badgeryoke.cluster.raft.log_replication import MAX_COMMAND_BYTES
 from badgeryoke.cluster.raft.node import RaftNode
@@ -129,9 +128,10 @@
     RestartEvent,
 )
 from badgeryoke.cluster.rolling_restart.waves import RollingRestarts
-from badgeryoke.cluster.state_machine.machine import GroupStateMachine, command_from, encode
+from badgeryoke.cluster.state_machine.command_registry import encode_command, parse_command
+from badgeryoke.cluster.state_machine.machine import GroupStateMachine
 from badgeryoke.cluster.state_machine.part import FLEET, Command, LeaderView
-from badgeryoke.cluster.timings import Timings, faults
+from badgeryoke.cluster.timings import Timings, find_problems
 from badgeryoke.cluster.unreported_usage import (
     ClaimUsage,
     ConfirmUsageReported,
@@ -143,7 +143,6 @@
 from badgeryoke.testbed.cluster_simulation.generated_plans import play, play_seed
 from badgeryoke.testbed.cluster_simulation.world import FleetWorld
 from badgeryoke.testbed.scenario.model import Fault
-from tests.cluster.test_membership import Net, members_of
 from tests.support.canonical import Digest
 from tests.support.cluster_digest import (
     RecordedNode,
@@ -155,6 +154,7 @@
     command_values,
     saved_values,
 )
+from tests.support.member_network import MemberNetwork, members_of
 from tests.support.raft_group import apply_write
 from tests.support.raft_storm import FaultStorm
 
@@ -413,7 +413,7 @@
         (LogEntry(4, 3, EntryKind.COMMAND, b"y"), LogEntry(5, 4, EntryKind.COMMAND, b"z")),
     )
     for lost in (("b/1", "c/1"), ("b/1",), (), ("c/1", "b/1"), ("b/1", "d/1")):
-        digest.add(saved_values(forced(saved, "g", "a/1", lost, START), "g"))
+        digest.add(saved_values(force_sole_voter(saved, "g", "a/1", lost, START), "g"))
     check("forced", digest)
 
 
@@ -421,7 +421,7 @@
 # ----------------------------------------------------------------------------------------------
 
 
-class RecordedNet(Net):
+class RecordedNet(MemberNetwork):
     """A network of members whose effects go into a digest."""
 
     def __init__(self, count: int, seed: int, kind: str, digest: Digest) -> None:
@@ -441,10 +441,10 @@
                     (
                         name,
                         node.due,
-                        node.alive(),
-                        node.dead_for(self.now),
+                        node.alive_ids(),
+                        node.dead_for_ms(self.now),
                         node.ids(),
-                        node.halls(),
+                        node.zones(),
                         [node.state_of(one.name) for one in self.members],
                     )
                 )
@@ -496,7 +496,7 @@
     for name in names:
         net.start(name)
     for node in net.nodes.values():
-        node.know(net.now, net.ids.values())
+        node.learn_ids(net.ids.values())
     net.run(1500.0)
     for step in range(steps):
         trouble(net, draw, names)
@@ -513,7 +513,7 @@
             )
         if len(up) > 2 and draw.random() < 0.1:
             leaver = draw.choice(up)
-            net.carry(leaver, net.nodes[leaver].leave(net.now))
+            net.carry(leaver, net.nodes[leaver].leave())
             net.run(net.now + 100.0)
             net.stop(leaver)
     net.look()
@@ -545,7 +545,9 @@
             net.start(name)
     net.run(net.now + 15_000.0)
     for node in net.nodes.values():
-        digest.add((node.record, node.founder, None if node.error is None else (node.error.code, node.error)))
+        digest.add(
+            (node.record, node.is_founder, None if node.error is None else (node.error.code, node.error))
+        )
         node.handle(net.now, StorageFailure(StorageFailed("", "full")))
     check(f"founding-{count}-{seed}", digest)
 
@@ -554,11 +556,13 @@
     digest = Digest()
     for members in (1, 2, 3, 5, 8, 20):
         record = BootstrapRecord(
-            "yard", "f0", "m000/1", tuple((f"{one.name}/1", one.hall) for one in members_of(members)), 8, 5
+            "yard", "f0", "m000/1", tuple((f"{one.name}/1", one.zone) for one in members_of(members)), 8, 5
         )
-        digest.add(first_placing(record))
-        digest.add([copies_for(copies, members) for copies in range(1, 8)])
-    digest.add([group_of(f"{kind}:{at}", 8) for kind in "tsp" for at in range(200)] + [group_of("", 3)])
+        digest.add(initial_placement(record))
+        digest.add([replica_count(copies, members) for copies in range(1, 8)])
+    digest.add(
+        [group_for_key(f"{kind}:{at}", 8) for kind in "tsp" for at in range(200)] + [group_for_key("", 3)]
+    )
     check("placing", digest)
 
 
@@ -667,7 +671,7 @@
         if kind == 14:
             name = draw.choice(GATEWAYS)
             return EnrolMember(
-                id=self.id(), name=name, who=f"{name}/{draw.randint(0, 8)}", hall=draw.choice("ab")
+                id=self.id(), name=name, who=f"{name}/{draw.randint(0, 8)}", zone=draw.choice("ab")
             )
         if kind == 15:
             return ReplaceReplica(
@@ -926,7 +930,7 @@
     def fresh(self) -> GroupStateMachine:
         made = GroupStateMachine(self.group, TIMINGS, self.rules)
         if self.group == FLEET:
-            made.parts["placing"].begin(
+            made.parts["placing"].initialize(
                 BootstrapRecord(
                     "yard", "f0", WHO[0], tuple((who, "ab"[at % 2]) for at, who in enumerate(WHO[:5])), 4, 3
                 )
@@ -935,7 +939,7 @@
 
     def apply(self, at_ms: float, command: Command) -> Any:
         self.index += 1
-        result = self.state.apply(self.now, self.index, encode(at_ms, command))
+        result = self.state.apply(self.now, self.index, encode_command(at_ms, command))
         self.digest.add(
             (at_ms, command_values(command), command.key(), command.validate(), applied_values(result))
         )
@@ -1002,7 +1006,7 @@
         ("Nothing", {}),
         ("RollAsk", {"id": "1", "roll": "r", "at_once": 0}),
     ):
-        made = command_from(name, dict(fields))
+        made = parse_command(name, dict(fields))
         digest.add(command_values(made) if isinstance(made, Command) else made)
     for timings in (
         TIMINGS,
@@ -1012,7 +1016,7 @@
         Timings(probe_timeout_ms=400.0),
         Timings(lease_ms=1000.0),
     ):
-        digest.add((faults(timings), timings.outlast()))
+        digest.add((find_problems(timings), timings.outlast()))
     digest.add(expand_windows((Window(5.0, 6.0), Window(1.0, 2.0, 2.0, 4.0))))
     check("operators", digest)
 
@@ -1456,8 +1460,8 @@
             )
             answers_of(node, digest, now, ClusterCall(f"r{step}", ReadValue(id=f"q{step}", name="n")))
             answers_of(node, digest, now, ClusterCall(f"b{step}", PutValue(id=f"b{step}", name="", value="")))
-    good = encode(START, PutValue(id="far", name="n", value="w"))
-    bad = encode(START, PutValue(id="far", name="", value="w"))
+    good = encode_command(START, PutValue(id="far", name="n", value="w"))
+    bad = encode_command(START, PutValue(id="far", name="", value="w"))
     for group, body in (("g0", b"junk"), ("g0", good), ("g1", good), ("g0", bad), ("g9", good)):
         answers_of(node, digest, now, MessageReceived("m000/2", ForwardedCall(f"f{group}", group, body, 1)))
     for token, body in (("x.1", b""), ("nodigits", b""), ("b9.1", b"\x93\xc0\xc0\xa0")):
--- a/tests/decisions/test_priority_admission.py
+++ b/tests/decisions/test_priority_admission.py
@@ -375,7 +375,7 @@
         assert (
             isinstance(made.node, ClusterNode)
             and told == [made.reservation_client, made.clock.monotonic_ms]
-            and made.reservation_client in made.node.holders
+            and made.reservation_client in made.node.lease_clients
         )
         made.close()
 
--- a/tests/gateway/cluster/test_connection_leases.py
+++ b/tests/gateway/cluster/test_connection_leases.py
@@ -221,7 +221,7 @@
             assert a.open_connections == 1  # idle, and kept
             report_phase("GRANTING", told="ready")
             await wait_until(lambda: a.open_connections == 0 and a.leases.is_empty)
-            assert a.node.lead_nothing and not a.actions
+            assert a.node.avoid_leadership and not a.actions
             report_phase("PAUSING", told="paused")
             await wait_until(lambda: a.actions == ["pause"])
             a.drained = True
@@ -230,7 +230,7 @@
             await wait_until(lambda: len(a.attempt_ends) == 2 and a.leases.is_empty)
             assert a.attempt_ends[1].verdict.name == "OK"
             report_phase("UNDOING", told="resumed")
-            await wait_until(lambda: a.actions == ["pause", "resume"] and not a.node.lead_nothing)
+            await wait_until(lambda: a.actions == ["pause", "resume"] and not a.node.avoid_leadership)
             report_phase("ACTING", told="x")
             await wait_until(lambda: a.actions == ["pause", "resume", "pause", "end"])
 
@@ -243,9 +243,11 @@
         leased_gateway = LeasedGateway("A", 1, group)
         leased_gateway.leases.attach(leased_gateway.node, leased_gateway.invariants)
         leased_gateway.leases.close()  # no checks but this test's
-        leased_gateway.node.states["g0"] = SimpleNamespace(parts={"connections": group.limits}, index=1)  # type: ignore[assignment]
+        leased_gateway.node.state_machines["g0"] = SimpleNamespace(
+            parts={"connections": group.limits}, index=1
+        )  # type: ignore[assignment]
         no_limits = GroupStateMachine(FLEET, TIMINGS, leased_gateway.invariants)
-        leased_gateway.node.states[FLEET] = no_limits
+        leased_gateway.node.state_machines[FLEET] = no_limits
         leader: Any = SimpleNamespace(leading=True)
         leased_gateway.node.replicas["g0"] = leased_gateway.node.replicas[FLEET] = leader
         for server in ("gone", "used"):
--- a/tests/support/cluster_runs.py
+++ b/tests/support/cluster_runs.py
@@ -22,8 +22,8 @@
     fields: dict[str, Any] = {
         "me": "g0/1",
         "alive": frozenset(),
-        "dead_for": {},
-        "halls": {},
+        "dead_for_ms": {},
+        "zones": {},
         "load": {},
         "groups": {},
         "behind": {},
--- a/tests/support/cluster_service.py
+++ b/tests/support/cluster_service.py
@@ -36,7 +36,7 @@
         invariants: Invariants,
     ) -> None:
         self.setup, self.saved, self.invariants = setup, saved, invariants
-        self.holders: list[LeaseClient] = []
+        self.lease_clients: list[LeaseClient] = []
         self.events: list[NodeEvent] = []
         self.due = math.inf
         self.effects_of: Callable[[Any], list[Effect]] = lambda event: []
