--- a/badgeryoke/__main__.py
+++ b/badgeryoke/__main__.py
@@ -11,6 +11,7 @@
 
 
 async def main() -> None:
+    """Serve until SIGTERM; raises ConfigError where the configuration cannot be used."""
     root = Path.cwd()
     config = read_config(os.environ, root)
     set_up(config.operators.log.format, config.operators.log.level)
@@ -21,5 +22,5 @@
     set_up()
     try:
         asyncio.run(main())
-    except ConfigError as fault:
-        sys.exit(f"badgeryoke: configuration: {fault}")
+    except ConfigError as error:
+        sys.exit(f"badgeryoke: configuration: {error}")
--- a/badgeryoke/gateway/admin/rendering.py
+++ b/badgeryoke/gateway/admin/rendering.py
@@ -27,11 +27,11 @@
     """All figures, one a line, each line ended."""
     lines = [
         f'lb_downstream_requests{{lane="{name.translate(ESCAPES)}",result="{result}"}} {count}'
-        for name, counts in figures.ended.items()
+        for name, counts in figures.finished.items()
         for result, count in zip(RESULTS, counts, strict=True)
     ]
     lines += [
-        f"lb_upstream_requests {figures.attempts}",
+        f"lb_upstream_requests {figures.attempts_sent}",
         f"lb_pending {gauges.pending}",
         f"lb_members {gauges.members}",
         f"lb_members_unavailable {gauges.members_unavailable}",
--- a/badgeryoke/gateway/attempt.py
+++ b/badgeryoke/gateway/attempt.py
@@ -11,113 +11,124 @@
 from badgeryoke.decisions.interface import Verdict
 from badgeryoke.gateway.response_stream import ResponseStream
 
+CUSTOMER_DIGITS = 16
+MAX_CUSTOMERS = 1 << 33  # customers are numbered from 0
+
 
 class AttemptStage(Enum):
     """How far an attempt has come."""
 
     NOT_WRITTEN = "not written"
-    WRITTEN = "written whole"
+    WRITTEN = "written completely"
     ENDED = "ended"
 
 
 @dataclass(frozen=True, slots=True)
 class AttemptEnd:
-    """How an attempt ended: the verdict, how far it had come, and what the server gave."""
+    """How an attempt ended: the verdict, the stage it had reached, and what the server gave."""
 
     verdict: Verdict
-    reached: AttemptStage
+    stage: AttemptStage
     value: bytes = b""
-    true_units: float = 0.0
-    report: tuple[float, ...] = ()
-    detail: str = ""
+    true_units: float = 0.0  # 0: the server did not say
+    load_report: tuple[float, ...] = ()  # figures in the order of the settings' report names
+    detail: str = ""  # for people
 
 
 @dataclass(slots=True)
 class Request:
-    """A client's request in the few values that the decisions and the server links use."""
+    """A client's request in the few values that the decisions and the upstreams use."""
 
     id: str
-    cls: str
+    request_class: str
     plan: str
     customer: int
-    remaining_ms: float
+    remaining_ms: float  # before the client gives up
     units: float
-    spread: int
-    first: int = 0
-    retry: bool = False
-    key: str = ""
+    gateway_set_size: int  # over how many gateways the customer's requests are spread
+    first_gateway: int = 0  # the index of the first of these
+    retry: bool = False  # the client says that it has sent this before
+    idempotency_key: str = ""
     body: bytes | None = None
-    safe: bool | None = None  # whether it is safe to repeat; None: its wire does not say, the core does
+    idempotent: bool | None = None  # None: its wire does not say, and the dispatcher fills it in
     # A repeat of something another gateway may have run: no attempt may be written after this time.
     send_by_ms: float | None = None
-    streams: bool = False  # whoever asked can take a long value in pieces
+    accepts_stream: bool = False  # the client's connection can take a long value in pieces
 
 
-def customer_number(digits: bytes) -> int:
-    """A customer from its 16 hex digits; raises ValueError."""
-    if len(digits) != 16 or not digits.isalnum() or not digits.isascii():
+def parse_customer(digits: bytes) -> int:
+    """A customer's number from its 16 hex digits; raises ValueError."""
+    if len(digits) != CUSTOMER_DIGITS or not digits.isalnum() or not digits.isascii():
         raise ValueError("customer: expected 16 hex digits")
     number = int.from_bytes(bytes.fromhex(digits.decode("ascii")), "big")
-    if number >= 1 << 33:
+    if number >= MAX_CUSTOMERS:
         raise ValueError("customer out of range")
     return number
 
 
 class Upstream(Protocol):
-    """A server, as the core sees it, whatever its wire."""
+    """A server, as the dispatcher sees it, whatever its wire protocol."""
 
     def start(self, execution: Attempt) -> None:
-        """Carry out an attempt; it ends by a call of the execution's own methods, never by an exception."""
+        """Carry out an attempt; it ends by a call of the attempt's own methods, never by an exception."""
 
 
 class Attempt:
-    """One attempt.  Its first end counts, and every later one is ignored."""
+    """One attempt.  Its first end counts, and every later one is ignored.
+
+    started_ms, deadline_ms: Unix ms.
+    on_end: called once, with the attempt and how it ended.
+    potential_duplicate: an earlier attempt of the same request may have run.
+    on_written: called when the last byte has been written.
+    write_by_ms: after this time servers no longer know the idempotency key, and the attempt must not be
+    written: a connection may take long to come up.
+    """
 
     __slots__ = (
         "_on_end",
         "_on_written",
-        "attempt",
-        "begun",
         "deadline_ms",
         "final",
-        "on_abandon",
-        "on_begun",
-        "query",
-        "relay",
-        "repeat",
+        "number",
+        "on_abort",
+        "on_response_started",
+        "potential_duplicate",
+        "request",
+        "response_stream",
         "server",
         "stage",
         "started_ms",
         "write_by_ms",
+        "write_started",
     )
 
     def __init__(
         self,
-        query: Request,
-        attempt: int,
+        request: Request,
+        number: int,
         server: int,
         started_ms: float,
         deadline_ms: float,
         on_end: Callable[[Attempt, AttemptEnd], None],
-        repeat: bool = False,
+        potential_duplicate: bool = False,
         on_written: Callable[[], None] | None = None,
         write_by_ms: float = math.inf,
     ) -> None:
-        self.query, self.attempt, self.server = query, attempt, server
+        self.request, self.number, self.server = request, number, server
         self.started_ms, self.deadline_ms = started_ms, deadline_ms
-        self.repeat = repeat  # an earlier attempt may have run, and ...
-        # ... after this time servers no longer know its key: a connection may take long to come up.
-        self.write_by_ms = write_by_ms if query.send_by_ms is None else min(write_by_ms, query.send_by_ms)
-        self.begun = False  # its first byte may be out
+        self.potential_duplicate = potential_duplicate
+        self.write_by_ms = write_by_ms if request.send_by_ms is None else min(write_by_ms, request.send_by_ms)
+        self.write_started = False  # its first byte may be out
         self.final = False  # no attempt will follow this one
         self.stage = AttemptStage.NOT_WRITTEN
-        self.on_abandon: Callable[[], None] | None = None  # set by the server link: ends the attempt there
-        self.relay: ResponseStream | None = None  # a long value has begun, and goes on through this
-        self.on_begun: Callable[[ResponseStream], None] | None = None
+        self.on_abort: Callable[[], None] | None = None  # set by the upstream: ends the attempt there
+        self.response_stream: ResponseStream | None = None  # a long value has begun
+        self.on_response_started: Callable[[ResponseStream], None] | None = None  # set by the dispatcher
         self._on_end, self._on_written = on_end, on_written
 
     @property
     def ended(self) -> bool:
+        """Whether the attempt's end is known; what comes later is ignored."""
         return self.stage is AttemptStage.ENDED
 
     def may_be_written(self, now_ms: float) -> bool:
@@ -125,62 +136,65 @@
         return self.stage is AttemptStage.NOT_WRITTEN and now_ms < min(self.deadline_ms, self.write_by_ms)
 
     def written(self) -> None:
-        """The last byte is out: from here on it may have run."""
+        """The last byte has been written: from here on the request may have run."""
         if self.stage is AttemptStage.NOT_WRITTEN:
-            self.begun, self.stage = True, AttemptStage.WRITTEN
+            self.write_started, self.stage = True, AttemptStage.WRITTEN
             if self._on_written is not None:
                 self._on_written()
 
-    def begins(self, relay: ResponseStream) -> None:
-        """The first bytes of a long value: from here on it is the client's, and is given up for nothing but
-        the client's leaving."""
-        if self.stage is AttemptStage.ENDED or self.on_begun is None:
-            relay.leave()
+    def response_started(self, stream: ResponseStream) -> None:
+        """The first bytes of a long value have come: it is the client's now, and is aborted for nothing but
+        the client's disconnecting."""
+        if self.stage is AttemptStage.ENDED or self.on_response_started is None:
+            stream.cancel()
             return
-        self.relay = relay
-        self.on_begun(relay)
+        self.response_stream = stream
+        self.on_response_started(stream)
 
-    def served(self, value: bytes, true_units: float = 0.0, report: tuple[float, ...] = ()) -> None:
-        self._end(Verdict.OK, value=value, true_units=true_units, report=report)
+    def succeeded(self, value: bytes, true_units: float = 0.0, load_report: tuple[float, ...] = ()) -> None:
+        """The server gave the value."""
+        self._end(Verdict.OK, value=value, true_units=true_units, load_report=load_report)
 
-    def error(self, detail: str, report: tuple[float, ...] = ()) -> None:
-        """The server says that it failed: it may have run."""
-        self._end(Verdict.ERROR, report=report, detail=detail)
+    def failed(self, detail: str, load_report: tuple[float, ...] = ()) -> None:
+        """The server says that it failed: the request may have run."""
+        self._end(Verdict.ERROR, load_report=load_report, detail=detail)
 
-    def turned_away(self, detail: str) -> None:
+    def rejected(self, detail: str) -> None:
         """The server says that it never began."""
         self._end(Verdict.QUEUE_FULL, detail=detail)
 
-    def lost(self, detail: str) -> None:
-        """The connection never came up or is gone: what that proves depends on how far the attempt came."""
-        self._end(
-            Verdict.CONNECT_FAILED if self.stage is AttemptStage.NOT_WRITTEN else Verdict.RESET, detail=detail
-        )
+    def connection_lost(self, detail: str) -> None:
+        """The connection never came up or is gone: what that proves depends on the stage reached."""
+        verdict = Verdict.CONNECT_FAILED if self.stage is AttemptStage.NOT_WRITTEN else Verdict.RESET
+        self._end(verdict, detail=detail)
 
-    def moot(self, detail: str) -> None:
+    def not_sent(self, detail: str) -> None:
         """It was not sent, and will not be."""
         self._end(Verdict.NOT_SENT, detail=detail)
 
-    def abandon(self, verdict: Verdict, final: bool = False) -> None:
-        """Stop waiting: cancelled or timed out.  What was never begun to be written could not connect; what
-        was begun may go out whole before the link hears of this, and so may run."""
-        if self.relay is not None and not final:
+    def abort(self, verdict: Verdict, final: bool = False) -> None:
+        """Stop waiting: cancelled or timed out.  An attempt whose writing never started could not connect; one
+        whose writing did may go out completely before the upstream hears of this, and so may run.
+
+        A response stream that has begun is aborted only where this is `final`.
+        """
+        if self.response_stream is not None and not final:
             return
         self.final = final
-        self._end(verdict if self.begun else Verdict.CONNECT_FAILED, detail="given up")
+        self._end(verdict if self.write_started else Verdict.CONNECT_FAILED, detail="given up")
 
     def _end(
         self,
         verdict: Verdict,
         value: bytes = b"",
         true_units: float = 0.0,
-        report: tuple[float, ...] = (),
+        load_report: tuple[float, ...] = (),
         detail: str = "",
     ) -> None:
         if self.stage is AttemptStage.ENDED:
             return
-        reached, self.stage = self.stage, AttemptStage.ENDED
-        self._on_end(self, AttemptEnd(verdict, reached, value, true_units, report, detail))
-        if self.on_abandon is not None:
-            release, self.on_abandon = self.on_abandon, None
+        stage, self.stage = self.stage, AttemptStage.ENDED
+        self._on_end(self, AttemptEnd(verdict, stage, value, true_units, load_report, detail))
+        if self.on_abort is not None:
+            release, self.on_abort = self.on_abort, None
             release()
--- a/badgeryoke/gateway/cluster/connection_leases.py
+++ b/badgeryoke/gateway/cluster/connection_leases.py
@@ -32,8 +32,9 @@
 from badgeryoke.cluster.node import ClusterNode
 from badgeryoke.cluster.rolling_restart.restart import DesiredState, RollingRestartAgent
 from badgeryoke.cluster.state_machine.part import FLEET, ApplyResult, Command
-from badgeryoke.gateway.actor import READ_CHUNK, ActorScheduler, new_socket
+from badgeryoke.gateway.actor import ActorScheduler
 from badgeryoke.gateway.cluster.settings import ClusterSettings
+from badgeryoke.gateway.connecting import READ_CHUNK_BYTES, new_socket
 
 log = logging.getLogger(__name__)
 
@@ -226,7 +227,7 @@
     def _ended(self, made: socket.socket) -> None:
         """Read up to the end; what still comes is nobody's."""
         try:
-            if made.recv(READ_CHUNK):
+            if made.recv(READ_CHUNK_BYTES):
                 return
         except BlockingIOError:
             return
--- a/badgeryoke/gateway/cluster/transport.py
+++ b/badgeryoke/gateway/cluster/transport.py
@@ -46,7 +46,7 @@
     RequestVoteReply,
     member_name,
 )
-from badgeryoke.gateway.actor import dial
+from badgeryoke.gateway.connecting import dial
 
 log = logging.getLogger(__name__)
 
--- a/badgeryoke/gateway/diameter/client_connection.py
+++ b/badgeryoke/gateway/diameter/client_connection.py
@@ -12,14 +12,15 @@
 
 from badgeryoke.decisions.interface import Idempotency, Settings
 from badgeryoke.gateway.actor import Actor, ActorScheduler
-from badgeryoke.gateway.attempt import Request, customer_number
+from badgeryoke.gateway.attempt import Request, parse_customer
 from badgeryoke.gateway.config.platform_file import DiameterConfig
 from badgeryoke.gateway.diameter import codec
 from badgeryoke.gateway.diameter.codec import Avp, Code, Fault, Message, Result
 from badgeryoke.gateway.diameter.duplicate_requests import DuplicateRequests, Entry
 from badgeryoke.gateway.diameter.duplicate_requests import RequestIdentity as RequestIdentity
 from badgeryoke.gateway.diameter.peer import Peer, PeerIdentity
-from badgeryoke.gateway.dispatcher import Dispatcher, Failed, Rejected, Response, Served
+from badgeryoke.gateway.dispatcher import Dispatcher
+from badgeryoke.gateway.responses import Failed, Rejected, Response, Served
 
 log = logging.getLogger(__name__)
 
@@ -102,9 +103,9 @@
         return number
     try:
         if number == codec.END_USER_PRIVATE:
-            return customer_number(data.data)
+            return parse_customer(data.data)
         if number == codec.END_USER_E164 and data.data.isdigit():
-            return customer_number(b"%016x" % int(data.data[:16]))
+            return parse_customer(b"%016x" % int(data.data[:16]))
     except ValueError:
         pass
     return _invalid(avp, "unknown subscriber", Result.USER_UNKNOWN)
@@ -240,11 +241,13 @@
         A refusal behind an attempt that may have run is harmless only while servers know its key.  A Diameter
         client would take TOO_BUSY for never begun, and may come back at any time: it is told that it failed.
         """
-        if isinstance(answer, Rejected) and answer.may_have_run and query.key:
+        if isinstance(answer, Rejected) and answer.may_have_run and query.idempotency_key:
             answer = Failed("may have run")
         if isinstance(answer, Rejected) and query.send_by_ms is not None:
             answer = Failed("the first try may have run")
-        self._repeats.end(entry, answer, keep=bool(query.key) and not isinstance(answer, Rejected))
+        self._repeats.end(
+            entry, answer, keep=bool(query.idempotency_key) and not isinstance(answer, Rejected)
+        )
 
     def _query(self, request: CreditControlRequest, repeated: bool) -> Request | Fault:
         """The core's query; a fault for what may not be sent."""
@@ -270,18 +273,18 @@
                 )
         query = Request(
             id=f"{random.getrandbits(64):016x}",
-            cls=cls.name,
+            request_class=cls.name,
             plan=plan,
             customer=request.customer,
             remaining_ms=self._config.deadline_ms or cls.deadline_ms,
             units=float(request.units or 1),
-            spread=self._gateways,
+            gateway_set_size=self._gateways,
             retry=repeated,
-            key=request.identity.key() if debit else "",
+            idempotency_key=request.identity.key() if debit else "",
             body=request.body,
             send_by_ms=send_by,
         )
-        if problem := self._core.problem(query):
+        if problem := self._core.validate(query):
             return Fault(Result.INVALID_AVP_VALUE, problem)
         return query
 
--- a/badgeryoke/gateway/diameter/duplicate_requests.py
+++ b/badgeryoke/gateway/diameter/duplicate_requests.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from badgeryoke.gateway.dispatcher import Response, Served
+from badgeryoke.gateway.responses import Response, Served
 
 # What is remembered at most; where none of it may be forgotten yet, new requests are refused.
 MOST = 50_000
--- a/badgeryoke/gateway/diameter/peer.py
+++ b/badgeryoke/gateway/diameter/peer.py
@@ -9,7 +9,8 @@
 
 from tornado.iostream import IOStream, StreamClosedError
 
-from badgeryoke.gateway.actor import Actor, ActorScheduler, on_close, pump
+from badgeryoke.gateway.actor import Actor, ActorScheduler
+from badgeryoke.gateway.connecting import on_close, pump
 from badgeryoke.gateway.diameter import codec
 from badgeryoke.gateway.diameter.codec import Avp, Code, Command, Fault, Message, Result
 
@@ -86,7 +87,7 @@
     def send(self, message: Message) -> None:
         self._out.append(message.encode())
 
-    def turn_ended(self) -> None:
+    def batch_ended(self) -> None:
         if self.stream.closed():
             return
         if self._out:
--- a/badgeryoke/gateway/diameter/upstream_connection.py
+++ b/badgeryoke/gateway/diameter/upstream_connection.py
@@ -10,8 +10,9 @@
 
 from tornado.iostream import IOStream, StreamClosedError
 
-from badgeryoke.gateway.actor import Actor, ActorScheduler, dial
+from badgeryoke.gateway.actor import Actor, ActorScheduler
 from badgeryoke.gateway.attempt import Attempt, Request
+from badgeryoke.gateway.connecting import dial
 from badgeryoke.gateway.diameter import codec
 from badgeryoke.gateway.diameter.codec import Avp, Code, Command, Fault, Message, Result
 from badgeryoke.gateway.diameter.peer import Peer, PeerIdentity, PeerState
@@ -29,7 +30,7 @@
 def session_of(query: Request, realm: str) -> tuple[str, int]:
     """Session-Id and End-to-End Id.  Of a keyed query they derive from its key alone, so that a server knows
     the repeat that another gateway sends."""
-    mark = query.key or query.id
+    mark = query.idempotency_key or query.id
     low = zlib.crc32(mark.encode())
     return f"{realm};{len(mark)};{low};{mark}", low
 
@@ -74,25 +75,25 @@
     A server that is too busy never began, so the query may go elsewhere; any other failure may have run.
     """
     if isinstance(avps, Fault):
-        execution.error("malformed answer")
+        execution.failed("malformed answer")
         return avps.text
     code = codec.only(avps, Code.RESULT_CODE)
     result = None if code is None else codec.read_u32(code)
     if result is None or isinstance(result, Fault):
-        execution.error("malformed answer")
+        execution.failed("malformed answer")
         return "answer without a Result-Code"
     if result == Result.TOO_BUSY:
-        execution.turned_away("DIAMETER_TOO_BUSY")
+        execution.rejected("DIAMETER_TOO_BUSY")
     elif 2000 <= result < 3000:
         value = codec.value_of(avps)
         granted = codec.only(avps, Code.GRANTED_SERVICE_UNIT)
         units = None if granted is None else codec.units_of(granted)
         if isinstance(value, Fault) or isinstance(units, Fault):
-            execution.served(b"", 0.0)
+            execution.succeeded(b"", 0.0)
             return "answer with unreadable units or value"
-        execution.served(value or b"", float(units or 0))
+        execution.succeeded(value or b"", float(units or 0))
     else:
-        execution.error(f"Result-Code {result}")
+        execution.failed(f"Result-Code {result}")
     return None
 
 
@@ -117,34 +118,34 @@
         """What was written may have run; execution.lost() tells which was."""
         out, self.out = self.out, {}
         for execution in out.values():
-            execution.on_abandon = None
-            execution.lost(str(self.stream.error or "connection ended"))
+            execution.on_abort = None
+            execution.connection_lost(str(self.stream.error or "connection ended"))
         self._owner.post(self._owner.closed, self)
 
     def write(self, execution: Attempt) -> None:
         now = self._owner.clock()
         if self.state is not PeerState.OPEN or self.stream.closed():
-            execution.lost("connection ended")
+            execution.connection_lost("connection ended")
             return
         if not execution.may_be_written(now):
-            execution.moot("too late to be sent")
+            execution.not_sent("too late to be sent")
             return
         if len(self.out) >= MOST_OUT:
-            execution.moot("too many attempts out")
+            execution.not_sent("too many attempts out")
             return
-        query, owner = execution.query, self._owner
+        query, owner = execution.request, self._owner
         number = self.next_id()
-        repeat = execution.repeat or (query.retry and bool(query.key))
+        repeat = execution.potential_duplicate or (query.retry and bool(query.idempotency_key))
         self.out[number] = execution
-        execution.begun = True
-        execution.on_abandon = lambda: self.post(self._abandoned, number, execution)
+        execution.write_started = True
+        execution.on_abort = lambda: self.post(self._abandoned, number, execution)
         service = owner.services.get(query.plan)
-        self._out.append(encode(query, self.me, bool(query.safe), service, number, repeat))
+        self._out.append(encode(query, self.me, bool(query.idempotent), service, number, repeat))
         self._unwritten.append(execution)
 
-    def turn_ended(self) -> None:
+    def batch_ended(self) -> None:
         batch, self._unwritten = self._unwritten, []
-        super().turn_ended()
+        super().batch_ended()
         if not batch or self.stream.closed():
             return
         stuck = self.stream.writing()
@@ -180,7 +181,7 @@
         self.used_at = self._loop.time()
         if execution is None:
             return  # the answer to an attempt that was abandoned
-        execution.on_abandon = None
+        execution.on_abort = None
         if fault := settle(execution, avps):
             self._owner.complain(fault)
         self.part()
@@ -224,7 +225,7 @@
 
     def _start(self, execution: Attempt) -> None:
         if self.draining:
-            execution.lost("server is gone")
+            execution.connection_lost("server is gone")
         elif (
             self._connection is not None
             and self._connection.state is PeerState.OPEN
@@ -232,7 +233,7 @@
         ):
             self._connection.post(self._connection.write, execution)
         elif len(self._waiting) >= MOST_OUT:
-            execution.moot("too many attempts wait for the connection")
+            execution.not_sent("too many attempts wait for the connection")
         else:
             self._waiting.append(execution)
             self._loop.call_later(self._connect_ms / 1000.0, self.deliver, self._unmet, execution)
@@ -250,7 +251,7 @@
             self.complain(f"no socket: {fault}")
             waiting, self._waiting = self._waiting, []
             for execution in waiting:
-                execution.lost(f"no socket: {fault}")
+                execution.connection_lost(f"no socket: {fault}")
             return
         connection = self._connection = _Connection(stream, self, self._loop, self._watchdog_s)
         self._task = asyncio.ensure_future(self._live(connection, coming_up))
@@ -279,12 +280,12 @@
             return
         waiting, self._waiting = self._waiting, []
         for execution in waiting:
-            execution.lost(str(connection.stream.error or "no connection"))
+            execution.connection_lost(str(connection.stream.error or "no connection"))
 
     def _unmet(self, execution: Attempt) -> None:
         if execution in self._waiting:
             self._waiting.remove(execution)
-            execution.lost("no connection in time")
+            execution.connection_lost("no connection in time")
 
     @property
     def need(self) -> int:
@@ -332,7 +333,7 @@
         self.draining = True
         waiting, self._waiting = self._waiting, []
         for execution in waiting:
-            execution.lost("server is draining")
+            execution.connection_lost("server is draining")
         if self._connection is not None:
             self._connection.post(self._connection.part)
 
--- a/badgeryoke/gateway/discovery/client.py
+++ b/badgeryoke/gateway/discovery/client.py
@@ -23,7 +23,8 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from badgeryoke.decisions.interface import EndpointList, EndpointState, ListScope, Server
-from badgeryoke.gateway.actor import READ_CHUNK, Actor, ActorScheduler, dial
+from badgeryoke.gateway.actor import Actor, ActorScheduler
+from badgeryoke.gateway.connecting import READ_CHUNK_BYTES, dial
 
 log = logging.getLogger(__name__)
 T = TypeVar("T")
@@ -159,7 +160,7 @@
     def feed(self, data: bytes) -> bool:
         """Whether the response is whole; raises ValueError where it is malformed or too large."""
         self._read += len(data)  # the parser bounds nothing; what is read at once goes beyond by one piece
-        if self._read > (MAX_READ if self._headed else MAX_HEAD) + READ_CHUNK:
+        if self._read > (MAX_READ if self._headed else MAX_HEAD) + READ_CHUNK_BYTES:
             raise ValueError("body too large" if self._headed else "head too large")
         try:
             self._parser.feed_data(data)
@@ -409,7 +410,9 @@
             until = min(max(due, self._loop.time() + SILENT_S), last) if response.begun else min(due, last)
             try:
                 whole = response.feed(
-                    await _within(until - self._loop.time(), stream.read_bytes(READ_CHUNK, partial=True))
+                    await _within(
+                        until - self._loop.time(), stream.read_bytes(READ_CHUNK_BYTES, partial=True)
+                    )
                 )
             except StreamClosedError as end:
                 if end.real_error is not None or not response.ended():  # a reset is no end
--- a/badgeryoke/gateway/dispatcher.py
+++ b/badgeryoke/gateway/dispatcher.py
@@ -1,155 +1,77 @@
-"""The module's actor: queries come in, executions go out, and each query gets exactly one final answer.
+"""The dispatcher: requests come in, attempts go out, and each request gets exactly one final response.
 
-No wire is known here.  The clock, the loop, the links to servers and the counter are passed in.
+No wire protocol is known here.  The clock, the event loop, the upstreams and the counter are passed in.
+
+A request's way: `validate`, `submit`, `_accept` (or an immediate rejection), `_request_decision`; then, as the
+decision module says, `_start_attempt` and `_attempt_ended`, until `_respond` gives the final response.  The
+request is forgotten once its last attempt has ended, too.
 """
 
 from __future__ import annotations
 
 import asyncio
 import logging
-import math
-import random
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
 from badgeryoke.decisions import interface as api
 from badgeryoke.decisions.policy.engine import DecisionEngine
 from badgeryoke.gateway.actor import Actor, ActorScheduler
 from badgeryoke.gateway.attempt import Attempt, AttemptEnd, Request, Upstream
-from badgeryoke.gateway.metrics import COMPLETED, FAILED, REJECTED, Metrics
+from badgeryoke.gateway.load_shedding import LoadShedder
+from badgeryoke.gateway.metrics import Metrics, RequestResult
+from badgeryoke.gateway.pending_request import PendingRequest, UnservedCause
+from badgeryoke.gateway.request_validation import RequestValidator
 from badgeryoke.gateway.response_stream import ResponseStream
+from badgeryoke.gateway.responses import RESULT_OF, Failed, Rejected, Response, Served, Streaming
 
 if TYPE_CHECKING:
-    from badgeryoke.cluster.reservations.lease_client import ReservedUnits
     from badgeryoke.decisions.counter_health.monitored_policy import MonitoredEngine
     from badgeryoke.decisions.state_snapshot import StateSnapshot
     from badgeryoke.gateway.reserved_admission import ReservationLeases, ReservedAdmission
 
 log = logging.getLogger(__name__)
 
-# An answer is given so much before the client gives up: it has to get there, and the loop may be busy.
-GUARD_MS = 15.0
-GUARD_PART = 0.1  # and no more than this part of a short deadline
-# How late the event loop may run, in parts of the shortest aim, before queries are refused unseen; with each
-# further part of it more of them are, by this factor and up to this share.
-LAG_PART, LAG_FACTOR, LAG_MOST = 0.15, 3.0, 0.9
-LAG_GAIN = 0.2  # weight of one look at it: a single stall is no overload
-FALLBACK_RETRY_MS = 100.0  # advice of a refusal that the module had no say in
-MOST_QUERIES = 10_000  # taken and not yet answered; more are refused unseen, ...
-MOST_BODIES = 32 * 1024 * 1024  # ... as are those whose bodies together pass a bound: this one, or a narrower
-# Why units that were drawn under a lease were not served; the module may name another cause.
-GATEWAY, LOAD, LATE, SERVER = "gateway", "load", "late", "server"
-
-
-@dataclass(frozen=True, slots=True)
-class Served:
-    """The value as a server gave it, and the true units where they were told."""
-
-    value: bytes
-    true_units: float = 0.0
-
-
-@dataclass(frozen=True, slots=True)
-class Rejected:
-    """A repeat under the same key does no harm; come back after so long."""
-
-    retry_after_ms: float
-    may_have_run: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class Failed:
-    """No promise about its effect."""
-
-    detail: str
-
-
-@dataclass(frozen=True, slots=True)
-class Streaming:
-    """A long value has begun: the rest comes through the relay, or breaks off there."""
-
-    relay: ResponseStream
-
-
-Response = Served | Rejected | Failed | Streaming
+# The final response is given this long before the client gives up: it has to get there, and the loop may be
+# busy.  For a short deadline it is no more than this fraction of it.
+MAX_RESPONSE_GUARD_MS = 15.0
+MAX_RESPONSE_GUARD_FRACTION = 0.1
+FALLBACK_RETRY_AFTER_MS = 100.0  # of rejections that the decision module did not make
+MAX_PENDING_REQUESTS = 10_000
+MAX_BODIES_BYTES = 32 * 1024 * 1024  # of all pending requests together, where no lower bound is given
+DEFAULT_OBJECTIVE_MS = 1000.0  # where the settings have no class
+SAME_DEADLINE_MS = 1.0  # an attempt's deadline this close to the request's gets no timer of its own
+FAULT_LOG_INTERVAL = 1000  # the first fault of the decision module is logged, and each so many-th
 
 
 class Counter(Protocol):
-    """The counter, as the core sees it."""
+    """The shared quota counter, as the dispatcher sees it."""
 
     def add(self, name: int, units: float, life_ms: float, done: Callable[[api.CounterReply], None]) -> None:
-        """Make one call; done is called once, later."""
+        """Make one call; `done` is called once, later."""
 
 
 class DecisionModule(Protocol):
-    """What decides: the module, or the module under a watch over the counter."""
+    """What decides: the engine, or the engine under a counter-health monitor."""
 
     def handle(self, now: float, event: api.Event) -> list[api.Action]:
-        """Decide on one event; gives the actions to carry out."""
+        """Decide on one event at `now` (Unix ms); gives the actions to execute, in their order."""
 
     def avoided(self, now: float) -> int:
-        """How many of the listed servers get nothing now."""
+        """How many of the listed servers get no requests now."""
 
     def retune(self, settings: api.Settings) -> None:
-        """Go by new settings; what is open keeps what it began with."""
-
-
-class PendingRequest:
-    """A query that is owed its answer, or whose last execution is still out."""
-
-    __slots__ = (
-        "answer",
-        "attempts",
-        "cause",
-        "cls",
-        "deadline_ms",
-        "execution",
-        "first_ms",
-        "harmless",
-        "id",
-        "may_have_run",
-        "query",
-        "relay",
-        "reserved",
-        "risk_ms",
-        "timer",
-        "window_ms",
-    )
-    cause: str  # badgeryoke.gateway.reserved_admission sets it with `reserved`
-
-    def __init__(
-        self,
-        rid: str,
-        query: Request,
-        answer: Callable[[Response], None],
-        deadline_ms: float,
-        cls: api.RequestClass,
-    ) -> None:
-        self.id, self.query, self.deadline_ms = rid, query, deadline_ms
-        self.cls = cls  # as it was when the query was checked; the module gets it under no other
-        # How long after an attempt that may have run another may come to a server.
-        self.window_ms = (
-            cls.deduplication_window_ms if cls.idempotency is api.Idempotency.WITH_KEY else math.inf
-        )
-        # A client's own repeat does no harm even if it may have run.
-        self.harmless = cls.idempotency is api.Idempotency.IDEMPOTENT or (
-            cls.idempotency is api.Idempotency.WITH_KEY
-            and cls.deduplication_scope is api.DeduplicationScope.ALL
-        )
-        self.risk_ms = math.inf  # when the first such attempt was started
-        self.answer: Callable[[Response], None] | None = answer  # None: the final answer is given
-        self.may_have_run = False
-        self.attempts = 0
-        self.execution: Attempt | None = None
-        self.timer: asyncio.TimerHandle | None = None
-        self.relay: ResponseStream | None = None  # the final answer has begun, and is not at its end
-        self.first_ms = 0.0  # how long its first bytes took
-        self.reserved: ReservedUnits | None = None  # its units were drawn under a lease
+        """Decide by new settings; requests in flight keep what they began with."""
 
 
 class Dispatcher(Actor):
-    """Drives one decision module."""
+    """Drives one decision module.
+
+    find_upstream: the upstream of a server's number; None for a server that is not listed any more.
+    max_bodies_bytes: bound on the bodies of all pending requests; what would pass it is rejected.
+    monitor_counter: put a counter-health monitor around the decision module.
+    with_reservations: decide with priority ranks, for customers with a reservation.
+    """
 
     def __init__(
         self,
@@ -157,442 +79,465 @@
         seed: int,
         loop: ActorScheduler,
         clock: Callable[[], float],
-        links: Callable[[int], Upstream | None],
+        find_upstream: Callable[[int], Upstream | None],
         counter: Counter,
-        most_bodies: int = MOST_BODIES,
-        watch: bool = False,
-        reserves: bool = False,
+        max_bodies_bytes: int = MAX_BODIES_BYTES,
+        monitor_counter: bool = False,
+        with_reservations: bool = False,
     ) -> None:
         super().__init__(loop)
-        make = DecisionEngine
-        if reserves:
-            from badgeryoke.decisions.priority_admission import (
-                PriorityDecisionEngine as make,  # not loaded where nothing is reserved
-            )
-        self._module: DecisionModule = make(settings, seed)
-        self._watched: MonitoredEngine | None = None
-        if watch:
-            from badgeryoke.decisions.counter_health.monitored_policy import (
-                MonitoredEngine,  # not loaded where it is off
-            )
-
-            self._module = self._watched = MonitoredEngine(settings, seed, make)
-        self._guarantee: ReservedAdmission | None = None
-        self._clock, self._links, self._counter = clock, links, counter
-        self._most_bodies = most_bodies
-        self._go_by(settings)
-        self._ids: set[str] = set()  # of the queries that are owed an answer
-        self._running: dict[str, PendingRequest] = {}
-        self._wakes: dict[int, asyncio.TimerHandle] = {}  # as many as the module has asked for and not had
-        self._lag_ms, self._random = 0.0, random.Random(seed)
-        self._next = self._bodies = 0
-        self.faults = 0
-        self.figures = Metrics(self._classes)
-
-    def guarantee(self, floor: ReservationLeases, now: Callable[[], float]) -> None:
-        """Ask a gateway's contracts before the module; they go by a clock of their own, ms."""
+        engine_type = _engine_type(with_reservations)
+        self._module: DecisionModule = engine_type(settings, seed)
+        self._monitored_engine: MonitoredEngine | None = None
+        if monitor_counter:
+            # Loaded only where it is switched on: it costs memory.
+            from badgeryoke.decisions.counter_health.monitored_policy import MonitoredEngine
+
+            self._module = self._monitored_engine = MonitoredEngine(settings, seed, engine_type)
+        self._reserved_admission: ReservedAdmission | None = None
+        self._clock, self._find_upstream, self._counter = clock, find_upstream, counter
+        self._max_bodies_bytes = max_bodies_bytes
+        self._validator = RequestValidator(settings)
+        self.validate = self._validator.validate  # a bound method: a call of our own would cost each request
+        self._shedder = LoadShedder(seed)
+        self.record_loop_lag = self._shedder.record_loop_lag
+        self._apply_settings(settings)
+        self._open_ids: set[str] = set()  # the clients' ids of requests without a final response
+        self._pending: dict[str, PendingRequest] = {}  # by the dispatcher's own ids
+        self._timers: dict[int, asyncio.TimerHandle] = {}  # by the decision module's tokens
+        self._last_id = self._bodies_bytes = 0
+        self.decision_faults = 0  # exceptions of the decision module
+        self.metrics = Metrics(self._validator.classes)
+
+    # Settings and state.
+
+    def enable_reservations(self, leases: ReservationLeases, now: Callable[[], float]) -> None:
+        """Draw requests from this gateway's leases before deciding on them; `now` is the leases' clock, ms."""
         from badgeryoke.gateway.reserved_admission import ReservedAdmission
 
-        self._guarantee = ReservedAdmission(floor, now, self._loop, lambda run: self.post(self._turn, run))
+        self._reserved_admission = ReservedAdmission(
+            leases, now, self._loop, lambda pending: self.post(self._reservation_wait_ended, pending)
+        )
 
-    def _go_by(self, settings: api.Settings) -> None:
-        self._classes = {cls.name: cls for cls in settings.classes}
-        self._plans = {plan.name for plan in settings.plans}
-        self._gateways, self._max_units = settings.gateway_count, settings.max_request_units
-        self._slack_ms = settings.response_slack_ms  # for the way to a server
-        self._aim_ms = min((cls.latency_objective_ms for cls in settings.classes), default=1000.0)
+    def _apply_settings(self, settings: api.Settings) -> None:
+        self._response_slack_ms = settings.response_slack_ms  # for the way to a server
+        self._shortest_objective_ms = min(
+            (request_class.latency_objective_ms for request_class in settings.classes),
+            default=DEFAULT_OBJECTIVE_MS,
+        )
 
-    def retune(self, settings: api.Settings) -> None:
-        """Take up new settings, behind what has come already."""
-        self.post(self._retune, settings)
+    def update_settings(self, settings: api.Settings) -> None:
+        """Go by new settings, behind the messages that have come already."""
+        self.post(self._update_settings, settings)
 
-    def _retune(self, settings: api.Settings) -> None:
+    def _update_settings(self, settings: api.Settings) -> None:
         self._module.retune(settings)
-        self._go_by(settings)
-        self.figures.add_classes(self._classes)
+        self._validator.update_settings(settings)
+        self._apply_settings(settings)
+        self.metrics.add_classes(self._validator.classes)
 
     @property
     def unanswered(self) -> int:
-        """Queries that are owed an answer still."""
-        return sum(1 for run in self._running.values() if run.answer is not None)
+        """How many requests have no final response yet."""
+        return sum(1 for pending in self._pending.values() if pending.respond is not None)
 
     @property
     def avoided(self) -> int:
-        """Backends in the list that the module sends nothing to now."""
+        """How many of the listed servers get no requests now."""
         return self._module.avoided(self._clock())
 
-    def problem(self, query: Request) -> str | None:
-        """What is wrong with a query, in words for whoever sent it; None where it can be taken."""
-        cls = self._classes.get(query.cls)
-        if cls is None:
-            return f"unknown class {query.cls[:32]!r}"
-        if query.safe is not None and query.safe is not (cls.idempotency is api.Idempotency.IDEMPOTENT):
-            return "not the command for this class"
-        if cls.idempotency is api.Idempotency.WITH_KEY and not query.key:
-            return "no key, in a class that takes one"
-        if query.plan not in self._plans:
-            return f"unknown plan {query.plan[:32]!r}"
-        # A figure out of these would be booked against a customer's quota, or held as long as it says.
-        for name, value, most in (
-            ("time to wait", query.remaining_ms, cls.deadline_ms + 1.0),
-            ("units", query.units, self._max_units),
-            ("spread", query.spread, self._gateways),
-        ):
-            if not 0 < value <= most:  # false for what is no number, too
-                return f"{name} out of range"
-        if not 0 <= query.first < self._gateways:
-            return "first out of range"
-        return None
+    def update_endpoints(self, endpoints: api.EndpointList) -> None:
+        """Pass a new endpoint list to the decision module."""
+        self.post(self._handle_event, endpoints)
 
-    def submit(self, query: Request, answer: Callable[[Response], None]) -> Callable[[], None]:
-        """Take a query: answer is called once, with its final answer.  The result tells that the client has
-        left, after which nothing is owed."""
-        self._next += 1
-        rid = str(self._next)  # of our own: a client that repeats an id must not cost another its answer
-        guard = min(GUARD_MS, GUARD_PART * query.remaining_ms)
-        cls = self._classes[query.cls]
-        # kept with it, whatever new settings make of the class
-        query.safe = cls.idempotency is api.Idempotency.IDEMPOTENT
-        run = PendingRequest(rid, query, answer, self._clock() + query.remaining_ms - guard, cls)
-        self.post(self._take, run)
-        return lambda: self.post(self._left, run)
-
-    def lagged(self, late_ms: float) -> None:
-        """The event loop came so much too late to look at its clock."""
-        self._lag_ms += LAG_GAIN * (max(late_ms, 0.0) - self._lag_ms)
-
-    def _shed(self) -> bool:
-        """Whether a query is refused unseen because this gateway has no time for it.  Decided on, it would be
-        answered late, and make all behind it later still: refusing costs the least of all."""
-        over = self._lag_ms / self._aim_ms - LAG_PART
-        return over > 0 and self._random.random() < min(over * LAG_FACTOR, LAG_MOST)
-
-    def give(self, names: dict[int, str]) -> StateSnapshot | str:
-        """What a successor needs, or why it gets nothing."""
-        from badgeryoke.decisions import state_snapshot  # not loaded where no process is replaced
+    def take_snapshot(self, names: dict[int, str]) -> StateSnapshot | str:
+        """The state for a successor, servers by their names in discovery; or why there is none."""
+        from badgeryoke.decisions import state_snapshot  # loaded only where a process is replaced
 
         if not isinstance(self._module, DecisionEngine):
             return "the counter is watched, and what the watch knows is not handed over"
         return state_snapshot.take_snapshot(self._module, names)
 
-    def given(self, handed: StateSnapshot) -> None:
-        """The successor serves by it."""
+    def mark_transferred(self, snapshot: StateSnapshot) -> None:
+        """The successor serves by this snapshot: what it holds is not this process's to use any more."""
         from badgeryoke.decisions import state_snapshot
 
         if isinstance(self._module, DecisionEngine):
-            state_snapshot.mark_transferred(self._module, handed)
+            state_snapshot.mark_transferred(self._module, snapshot)
 
-    def take(self, handed: StateSnapshot, numbers: dict[str, int]) -> None:
-        """Go on from what the old process handed over, behind the list of servers that has come."""
-        self.post(self._take_over, handed, numbers)
+    def restore_snapshot(self, snapshot: StateSnapshot, numbers: dict[str, int]) -> None:
+        """Go on from a predecessor's state, behind the endpoint list that has come; servers' numbers by name."""
+        self.post(self._restore_snapshot, snapshot, numbers)
 
-    def _take_over(self, handed: StateSnapshot, numbers: dict[str, int]) -> None:
+    def _restore_snapshot(self, snapshot: StateSnapshot, numbers: dict[str, int]) -> None:
         from badgeryoke.decisions import state_snapshot
 
         now = self._clock()
         if isinstance(self._module, DecisionEngine):
-            for action in state_snapshot.restore_snapshot(self._module, now, handed, numbers):
-                self._act(now, action)
-
-    def members(self, event: api.EndpointList) -> None:
-        """Tell the module of a member list."""
-        self.post(self._decide, event)
-
-    def _take(self, run: PendingRequest) -> None:
-        now, query = self._clock(), run.query
-        left = run.deadline_ms - now
-        body = len(query.body or b"")
-        answer: Response | None = None
-        if query.id in self._ids:
-            # Servers know a request by its id: they would take a second one for a copy of the first.
-            answer = Failed("id of a request that is open")
-        elif self._outdated(run):
-            answer = Rejected(FALLBACK_RETRY_MS)
-        else:
-            drawn = self._guarantee is not None and self._guarantee.draw(run)
-            if left <= 0 or len(self._running) >= MOST_QUERIES or self._bodies + body > self._most_bodies:
-                answer = Rejected(FALLBACK_RETRY_MS)
-            elif not drawn and self._shed():
-                answer = Rejected(self._aim_ms)
-        if answer is not None:
-            give, run.answer = run.answer, None
-            if run.reserved is not None:
-                run.cause = GATEWAY
-            if give is not None:
-                self._count(run, answer)
-                give(answer)
+            for action in state_snapshot.restore_snapshot(self._module, now, snapshot, numbers):
+                self._execute(now, action)
+
+    # From a client's request to the decision module.
+
+    def submit(self, request: Request, respond: Callable[[Response], None]) -> Callable[[], None]:
+        """Accept a validated request: `respond` is called once, with its final response.
+
+        The function that comes back reports that the client has disconnected, after which `respond` is not
+        called.
+        """
+        self._last_id += 1
+        # An id of our own: a client that repeats one must not cost another its response.
+        request_id = str(self._last_id)
+        guard_ms = min(MAX_RESPONSE_GUARD_MS, MAX_RESPONSE_GUARD_FRACTION * request.remaining_ms)
+        request_class = self._validator.classes[request.request_class]
+        # Stored with the request, whatever new settings make of its class.
+        request.idempotent = request_class.idempotency is api.Idempotency.IDEMPOTENT
+        deadline_ms = self._clock() + request.remaining_ms - guard_ms
+        pending = PendingRequest(request_id, request, respond, deadline_ms, request_class)
+        self.post(self._accept, pending)
+        return lambda: self.post(self._client_disconnected, pending)
+
+    def _accept(self, pending: PendingRequest) -> None:
+        request = pending.request
+        remaining_ms = pending.deadline_ms - self._clock()
+        body_bytes = len(request.body or b"")
+        rejection = self._immediate_response(pending, remaining_ms, body_bytes)
+        if rejection is not None:
+            self._respond_undecided(pending, rejection)
             return
-        self._ids.add(query.id)
-        self._running[run.id] = run
-        self._bodies += body
-        # A timer of the core's own keeps the deadline, so that no fault of the module loses a query.
-        run.timer = self._loop.call_later(left / 1000.0, self.deliver, self._overdue, run)
-        if self._guarantee is None or run.reserved is not None or not self._guarantee.waits(run, left):
-            self._ask(run, left)
-
-    def _turn(self, run: PendingRequest) -> None:
-        """A query has waited its turn; its client may have left, or it has its answer."""
-        if run.answer is not None and self._outdated(run):
-            run.cause = GATEWAY
-            self._finish(run, Rejected(FALLBACK_RETRY_MS))
-        elif run.answer is not None:
-            self._ask(run, run.deadline_ms - self._clock())
-
-    def _outdated(self, run: PendingRequest) -> bool:
-        """Whether new settings came between a query's check and the module: the module would decide on its
-        repeats by another rule than it was checked and is encoded by.  Nothing has run, so a refusal does
-        no harm."""
-        cls = self._classes.get(run.query.cls)
-        return (cls is not run.cls and cls != run.cls) or run.query.plan not in self._plans
-
-    def _ask(self, run: PendingRequest, left: float) -> None:
-        """Bring a query to the module."""
-        query = run.query
-        self._decide(
+        self._open_ids.add(request.id)
+        self._pending[pending.id] = pending
+        self._bodies_bytes += body_bytes
+        # The dispatcher's own timer keeps the deadline, so that no fault of the module loses a request.
+        pending.deadline_timer = self._loop.call_later(
+            remaining_ms / 1000.0, self.deliver, self._deadline_expired, pending
+        )
+        if (
+            self._reserved_admission is None
+            or pending.reserved_units is not None
+            or not self._reserved_admission.enqueue(pending, remaining_ms)
+        ):
+            self._request_decision(pending, remaining_ms)
+
+    def _immediate_response(
+        self, pending: PendingRequest, remaining_ms: float, body_bytes: int
+    ) -> Response | None:
+        """The response to a request that is not accepted; None for one that is."""
+        if pending.request.id in self._open_ids:
+            # Servers know a request by its id: they would take a second one for a copy of the first.
+            return Failed("id of a request that is open")
+        if self._settings_overtook(pending):
+            return Rejected(FALLBACK_RETRY_AFTER_MS)
+        reserved = self._reserved_admission is not None and self._reserved_admission.reserve(pending)
+        if (
+            remaining_ms <= 0
+            or len(self._pending) >= MAX_PENDING_REQUESTS
+            or self._bodies_bytes + body_bytes > self._max_bodies_bytes
+        ):
+            return Rejected(FALLBACK_RETRY_AFTER_MS)
+        if not reserved and self._shedder.should_shed(self._shortest_objective_ms):
+            return Rejected(self._shortest_objective_ms)
+        return None
+
+    def _respond_undecided(self, pending: PendingRequest, response: Response) -> None:
+        """The final response to a request that was not accepted."""
+        respond, pending.respond = pending.respond, None
+        if pending.reserved_units is not None:
+            pending.unserved_cause = UnservedCause.GATEWAY
+        if respond is not None:
+            self._record_result(pending, response)
+            respond(response)
+
+    def _reservation_wait_ended(self, pending: PendingRequest) -> None:
+        """A request has waited for reserved units; its client may have left, or it has its response."""
+        if pending.respond is not None and self._settings_overtook(pending):
+            pending.unserved_cause = UnservedCause.GATEWAY
+            self._respond(pending, Rejected(FALLBACK_RETRY_AFTER_MS))
+        elif pending.respond is not None:
+            self._request_decision(pending, pending.deadline_ms - self._clock())
+
+    def _settings_overtook(self, pending: PendingRequest) -> bool:
+        """Whether new settings came between a request's validation and the decision module: the module would
+        decide on its retries by another rule than it was validated and is encoded by.  Nothing has run, so a
+        rejection does no harm."""
+        request_class = self._validator.classes.get(pending.request.request_class)
+        return (
+            request_class is not pending.request_class and request_class != pending.request_class
+        ) or pending.request.plan not in self._validator.plans
+
+    def _request_decision(self, pending: PendingRequest, remaining_ms: float) -> None:
+        """Bring a request to the decision module."""
+        request = pending.request
+        self._handle_event(
             api.Request(
-                run.id,
-                query.cls,
-                query.plan,
-                query.customer,
-                left,
-                query.units,
-                query.spread,
-                query.first,
-                query.retry,
-                0 if run.reserved is None else run.reserved.rank,
+                pending.id,
+                request.request_class,
+                request.plan,
+                request.customer,
+                remaining_ms,
+                request.units,
+                request.gateway_set_size,
+                request.first_gateway,
+                request.retry,
+                0 if pending.reserved_units is None else pending.reserved_units.rank,
             ),
-            run,
+            pending,
         )
 
-    def _left(self, run: PendingRequest) -> None:
-        if run.answer is not None:
-            run.answer = None
-            self._ids.discard(run.query.id)
-            if run.relay is not None:
-                run.relay.leave()
-            self._release(run)
-            self._decide(api.ClientDisconnected(run.id))
-
-    def give_up(self) -> None:
-        """No time is left: every query is given its final answer now."""
-        for run in list(self._running.values()):
-            self.post(self._overdue, run)
-
-    def _overdue(self, run: PendingRequest) -> None:
-        if run.answer is None or run.relay is not None:
+    def _client_disconnected(self, pending: PendingRequest) -> None:
+        if pending.respond is not None:
+            pending.respond = None
+            self._open_ids.discard(pending.request.id)
+            if pending.response_stream is not None:
+                pending.response_stream.cancel()
+            self._release(pending)
+            self._handle_event(api.ClientDisconnected(pending.id))
+
+    # Deadlines.
+
+    def answer_all_now(self) -> None:
+        """No time is left: every request is given its final response now."""
+        for pending in list(self._pending.values()):
+            self.post(self._deadline_expired, pending)
+
+    def _deadline_expired(self, pending: PendingRequest) -> None:
+        if pending.respond is None or pending.response_stream is not None:
             return
-        if run.execution is not None:
-            run.execution.abandon(api.Verdict.TIMEOUT, final=True)
-        self.post(self._last_word, run)  # behind the outcome, to which the module answers
+        if pending.attempt is not None:
+            pending.attempt.abort(api.Verdict.TIMEOUT, final=True)
+        # Behind the attempt's outcome, to which the decision module may respond.
+        self.post(self._answer_expired, pending)
 
-    def _last_word(self, run: PendingRequest) -> None:
-        if run.answer is None or run.relay is not None:
+    def _answer_expired(self, pending: PendingRequest) -> None:
+        if pending.respond is None or pending.response_stream is not None:
             return
-        log.warning("query overdue: no decision by the deadline or the end, answered by the core")
-        self._give_up(run)
+        log.warning(
+            "request overdue: no decision by the deadline or the shutdown, answered by the dispatcher"
+        )
+        self._answer_without_decision(pending)
 
-    def _give_up(self, run: PendingRequest) -> None:
-        """The final answer where the module gave none."""
-        if run.harmless or not run.may_have_run:
-            self._finish(run, Rejected(FALLBACK_RETRY_MS, run.may_have_run))
+    def _answer_without_decision(self, pending: PendingRequest) -> None:
+        """The final response where the decision module gave none."""
+        if pending.repeat_is_harmless or not pending.may_have_run:
+            self._respond(pending, Rejected(FALLBACK_RETRY_AFTER_MS, pending.may_have_run))
         else:
-            self._finish(run, Failed("may have run"))
-        self._decide(api.ClientDisconnected(run.id))
+            self._respond(pending, Failed("may have run"))
+        self._handle_event(api.ClientDisconnected(pending.id))
+
+    # The decision module's events and actions.
 
-    def _decide(self, event: api.Event, run: PendingRequest | None = None) -> None:
-        """Give the module one event and carry out its actions."""
+    def _handle_event(self, event: api.Event, pending: PendingRequest | None = None) -> None:
+        """Give the decision module one event and execute its actions."""
         now = self._clock()
         try:
             actions = self._module.handle(now, event)
-        except Exception:
-            self.faults += 1
-            if self.faults == 1 or self.faults % 1000 == 0:
-                log.exception("module fault %d on %s", self.faults, type(event).__name__)
-            if run is not None and run.answer is not None and run.execution is None:
-                self._give_up(run)
+        except Exception:  # whatever is wrong in the module, it must cost no request its response
+            self._record_decision_fault(event)
+            if pending is not None and pending.respond is not None and pending.attempt is None:
+                self._answer_without_decision(pending)
             return
         for action in actions:
-            self._act(now, action)
-        if self._watched is not None and self._watched.watch.changes:
-            self._tell_beliefs(self._watched)
-
-    def _tell_beliefs(self, watched: MonitoredEngine) -> None:
-        """Log what the counter is held to be from now on."""
-        for change in watched.take_changes():
-            sound = change.new.value in ("sound", "healed", "slow")
-            fields = {
-                "old": change.old.value,
-                "new": change.new.value,
-                "sign": change.sign.value,
-                "hidden": list(change.hidden),
-                "since_ms": round(change.at_ms, 1),
-            }
-            log.log(
-                logging.INFO if sound else logging.WARNING,
-                "counter believed %s: %s%s",
-                change.new.value,
-                change.sign.value,
-                f", gateways {list(change.hidden)}" if change.hidden else "",
-                extra={"fields": fields},
-            )
+            self._execute(now, action)
+        if self._monitored_engine is not None and self._monitored_engine.watch.changes:
+            from badgeryoke.gateway.counter_state_log import log_counter_changes  # as the monitor itself
 
-    def _act(self, now: float, action: api.Action) -> None:
+            log_counter_changes(self._monitored_engine)
+
+    def _record_decision_fault(self, event: api.Event) -> None:
+        """Count an exception of the decision module; called while it is handled."""
+        self.decision_faults += 1
+        if self.decision_faults == 1 or self.decision_faults % FAULT_LOG_INTERVAL == 0:
+            log.exception("decision module fault %d on %s", self.decision_faults, type(event).__name__)
+
+    def _execute(self, now: float, action: api.Action) -> None:
         match action:
             case api.SendAttempt():
-                self._send(now, action)
-            case api.Reject(id=rid, retry_after_ms=wait):
-                if (run := self._running.get(rid)) is not None:
-                    if run.reserved is not None:
-                        run.cause = action.cause or LOAD
-                    self._finish(run, Rejected(wait, run.may_have_run))
-            case api.Fail(id=rid):
-                if (run := self._running.get(rid)) is not None:
-                    if run.reserved is not None:
-                        run.cause = SERVER
-                    self._finish(run, Failed("may have run" if run.may_have_run else "not served"))
-            case api.AddToCounter(name=name, units=units, expire_ms=life):
-                self._counter.add(name, units, life, self._counted)
-            case api.SetTimer(at_ms=at, token=token):
-                self._wakes[token] = self._loop.call_later(
-                    max(at - now, 0.0) / 1000.0, self.deliver, self._due, token
+                self._start_attempt(now, action)
+            case api.Reject(id=request_id, retry_after_ms=retry_after_ms):
+                if (pending := self._pending.get(request_id)) is not None:
+                    if pending.reserved_units is not None:
+                        pending.unserved_cause = action.cause or UnservedCause.LOAD
+                    self._respond(pending, Rejected(retry_after_ms, pending.may_have_run))
+            case api.Fail(id=request_id):
+                if (pending := self._pending.get(request_id)) is not None:
+                    if pending.reserved_units is not None:
+                        pending.unserved_cause = UnservedCause.SERVER
+                    self._respond(pending, Failed("may have run" if pending.may_have_run else "not served"))
+            case api.AddToCounter(name=name, units=units, expire_ms=expire_ms):
+                self._counter.add(name, units, expire_ms, self._counter_replied)
+            case api.SetTimer(at_ms=at_ms, token=token):
+                self._timers[token] = self._loop.call_later(
+                    max(at_ms - now, 0.0) / 1000.0, self.deliver, self._timer_fired, token
                 )
-            case api.CancelAttempt(id=rid, attempt=attempt):  # ignored by one whose long value has begun
-                run = self._running.get(rid)
-                if run is not None and run.execution is not None and run.execution.attempt == attempt:
-                    run.execution.abandon(api.Verdict.CANCELLED)
+            case api.CancelAttempt(id=request_id, attempt=number):
+                # Ignored by an attempt whose response stream has begun.
+                pending = self._pending.get(request_id)
+                attempt = None if pending is None else pending.attempt
+                if attempt is not None and attempt.number == number:
+                    attempt.abort(api.Verdict.CANCELLED)
             case api.Log(text=text):
-                log.info("module: %s", text)
+                log.info("decision module: %s", text)
             case api.Subscribe() | api.CheckHealth():
-                pass  # the watch runs from the start, and servers are never probed
+                pass  # discovery is watched from the start, and servers get no health checks
 
-    def _due(self, token: int) -> None:
-        if self._wakes.pop(token, None) is not None:
-            self._decide(api.TimerFired(token))
+    def _timer_fired(self, token: int) -> None:
+        if self._timers.pop(token, None) is not None:
+            self._handle_event(api.TimerFired(token))
 
-    def settle(self) -> None:
-        """All has its answer and the gateway ends: what the module has put off is due now.  Units that it
-        gathered and has not told would else be lost to the other gateways."""
-        for token, timer in list(self._wakes.items()):
+    def flush_timers(self) -> None:
+        """Fire the decision module's timers now: all is answered and the gateway ends.  Units that the module
+        has gathered and not reported would otherwise be lost to the other gateways."""
+        for token, timer in list(self._timers.items()):
             timer.cancel()
-            self.post(self._due, token)
+            self.post(self._timer_fired, token)
 
-    def _counted(self, total: api.CounterReply) -> None:
-        self.post(self._decide, total)
+    def _counter_replied(self, reply: api.CounterReply) -> None:
+        self.post(self._handle_event, reply)
 
-    def _send(self, now: float, action: api.SendAttempt) -> None:
-        run = self._running.get(action.id)
-        if run is None:
-            log.warning("module sent a query that is over")
+    # Attempts.
+
+    def _start_attempt(self, now: float, action: api.SendAttempt) -> None:
+        pending = self._pending.get(action.id)
+        if pending is None:
+            log.warning("decision module sent a request that has ended")
             return
-        attempt, run.attempts = run.attempts, run.attempts + 1
-        deadline = min(run.deadline_ms, now + action.timeout_ms) if action.timeout_ms > 0 else run.deadline_ms
-        execution = Attempt(
-            run.query,
-            attempt,
+        number, pending.attempt_count = pending.attempt_count, pending.attempt_count + 1
+        deadline_ms = pending.deadline_ms
+        if action.timeout_ms > 0:
+            deadline_ms = min(deadline_ms, now + action.timeout_ms)
+        attempt = Attempt(
+            pending.request,
+            number,
             action.server,
             now,
-            deadline,
-            lambda ended, end: self.post(self._ended, run, ended, end),
-            run.may_have_run,
-            self.figures.attempted,
-            run.risk_ms + run.window_ms - self._slack_ms,
+            deadline_ms,
+            lambda ended, end: self.post(self._attempt_ended, pending, ended, end),
+            pending.may_have_run,
+            self.metrics.attempt_sent,
+            pending.first_possible_run_ms + pending.deduplication_window_ms - self._response_slack_ms,
         )
-        link = self._links(action.server)
-        if run.execution is not None or run.answer is None:
-            execution.moot("one attempt at a time, and none after the answer")
-        elif not execution.may_be_written(now):
-            execution.moot("too late to be sent")
-        elif link is None:
-            execution.lost("server not in the list")
+        upstream = self._find_upstream(action.server)
+        if pending.attempt is not None or pending.respond is None:
+            attempt.not_sent("one attempt at a time, and none after the answer")
+        elif not attempt.may_be_written(now):
+            attempt.not_sent("too late to be sent")
+        elif upstream is None:
+            attempt.connection_lost("server not in the list")
         else:
-            run.execution = execution
-            execution.on_begun = lambda relay: self.post(self._begun, run, execution, relay)
-            if deadline < run.deadline_ms - 1.0:
-                # In a turn of the core's: its connection is closed before the next attempt is written
-                # anywhere.
-                self._loop.call_later(
-                    (deadline - now) / 1000.0, self.deliver, execution.abandon, api.Verdict.TIMEOUT
-                )
-            link.start(execution)
+            self._hand_to_upstream(pending, attempt, upstream)
+
+    def _hand_to_upstream(self, pending: PendingRequest, attempt: Attempt, upstream: Upstream) -> None:
+        pending.attempt = attempt
+        attempt.on_response_started = lambda stream: self.post(
+            self._response_started, pending, attempt, stream
+        )
+        if attempt.deadline_ms < pending.deadline_ms - SAME_DEADLINE_MS:
+            # As a message to the dispatcher: the connection is closed before the next attempt is written
+            # anywhere.
+            self._loop.call_later(
+                (attempt.deadline_ms - attempt.started_ms) / 1000.0,
+                self.deliver,
+                attempt.abort,
+                api.Verdict.TIMEOUT,
+            )
+        upstream.start(attempt)
 
-    def _ended(self, run: PendingRequest, execution: Attempt, end: AttemptEnd) -> None:
-        """An attempt has ended; where it was served, so is the query."""
-        if run.execution is execution:
-            run.execution = None
+    def _attempt_ended(self, pending: PendingRequest, attempt: Attempt, end: AttemptEnd) -> None:
+        """An attempt has ended; where it was served, so is the request."""
+        if pending.attempt is attempt:
+            pending.attempt = None
         if not end.verdict.never_ran:
-            run.may_have_run = True
-            run.risk_ms = min(run.risk_ms, execution.started_ms)
-        rtt = run.first_ms if run.relay is not None else self._clock() - execution.started_ms
-        if run.relay is not None:
-            if end.verdict is not api.Verdict.OK and run.answer is not None:
-                run.relay.fail()
-                self._passed(run, Failed("broke off"))
-        elif end.verdict is api.Verdict.OK and run.answer is not None:
-            self._finish(run, Served(end.value, end.true_units))
-        over = run.answer is None or run.relay is not None
-        if run.answer is None and run.execution is None:
-            self._forget(run)
-        self._decide(
+            pending.may_have_run = True
+            pending.first_possible_run_ms = min(pending.first_possible_run_ms, attempt.started_ms)
+        stream = pending.response_stream
+        latency_ms = pending.first_byte_ms if stream is not None else self._clock() - attempt.started_ms
+        if stream is not None:
+            if end.verdict is not api.Verdict.OK and pending.respond is not None:
+                stream.abort()
+                self._stream_finished(pending, Failed("broke off"))
+        elif end.verdict is api.Verdict.OK and pending.respond is not None:
+            self._respond(pending, Served(end.value, end.true_units))
+        answered = pending.respond is None or stream is not None
+        if pending.respond is None and pending.attempt is None:
+            self._remove(pending)
+        self._handle_event(
             api.AttemptOutcome(
-                run.id,
-                execution.attempt,
-                execution.server,
+                pending.id,
+                attempt.number,
+                attempt.server,
                 end.verdict,
-                rtt,
-                over,
+                latency_ms,
+                answered,
                 end.true_units,
-                end.report,
+                end.load_report,
             ),
-            run,
+            pending,
         )
 
-    def _begun(self, run: PendingRequest, execution: Attempt, relay: ResponseStream) -> None:
-        """A long value has begun: this is the final answer, whatever becomes of it."""
-        if run.answer is None or run.execution is not execution:
-            relay.leave()
-            execution.abandon(api.Verdict.CANCELLED, final=True)
+    # Responses.
+
+    def _response_started(self, pending: PendingRequest, attempt: Attempt, stream: ResponseStream) -> None:
+        """A long value has begun: this is the final response, whatever becomes of it."""
+        if pending.respond is None or pending.attempt is not attempt:
+            stream.cancel()
+            attempt.abort(api.Verdict.CANCELLED, final=True)
             return
-        run.relay, run.first_ms, run.may_have_run = relay, self._clock() - execution.started_ms, True
-        if run.timer is not None:
-            run.timer.cancel()
-        relay.on_drained = lambda: self.post(self._passed, run, Served(b""))
-        self._decide(api.ResponseStarted(run.id))
-        run.answer(Streaming(relay))
-
-    def _passed(self, run: PendingRequest, answer: Response) -> None:
+        pending.response_stream, pending.may_have_run = stream, True
+        pending.first_byte_ms = self._clock() - attempt.started_ms
+        if pending.deadline_timer is not None:
+            pending.deadline_timer.cancel()
+        stream.on_delivered = lambda: self.post(self._stream_finished, pending, Served(b""))
+        self._handle_event(api.ResponseStarted(pending.id))
+        pending.respond(Streaming(stream))
+
+    def _stream_finished(self, pending: PendingRequest, response: Response) -> None:
         """The client has all of a long value, or what it will ever have of it."""
-        if run.answer is not None:
-            run.answer = None
-            self._ids.discard(run.query.id)
-            self._count(run, answer)
-            if run.execution is None:
-                self._forget(run)
-
-    def _finish(self, run: PendingRequest, answer: Response) -> None:
-        """The one place where a final answer is given."""
-        if run.answer is None:
+        if pending.respond is not None:
+            pending.respond = None
+            self._open_ids.discard(pending.request.id)
+            self._record_result(pending, response)
+            if pending.attempt is None:
+                self._remove(pending)
+
+    def _respond(self, pending: PendingRequest, response: Response) -> None:
+        """Give an accepted request its final response, unless it has one or its client has left."""
+        if pending.respond is None:
             return
-        self._ids.discard(run.query.id)
-        give, run.answer = run.answer, None
-        self._release(run)
-        self._count(run, answer)
-        give(answer)
-
-    def _count(self, run: PendingRequest, answer: Response) -> None:
-        """A query has ended, under one result."""
-        result = {Served: COMPLETED, Rejected: REJECTED, Failed: FAILED}[type(answer)]
-        self.figures.ended[run.query.cls][result] += 1
-        if run.reserved is not None and result is not COMPLETED and self._guarantee is not None:
-            self._guarantee.unserved(run.reserved, run.cause)
-
-    def _forget(self, run: PendingRequest) -> None:
-        if self._running.pop(run.id, None) is not None:
-            self._bodies -= len(run.query.body or b"")
-
-    def _release(self, run: PendingRequest) -> None:
-        if run.timer is not None:
-            run.timer.cancel()
-        if run.execution is None:
-            self._forget(run)
-        else:  # its end is still to be told to the module
-            run.execution.abandon(api.Verdict.CANCELLED, final=True)
+        self._open_ids.discard(pending.request.id)
+        respond, pending.respond = pending.respond, None
+        self._release(pending)
+        self._record_result(pending, response)
+        respond(response)
+
+    def _record_result(self, pending: PendingRequest, response: Response) -> None:
+        """Count a request under its result."""
+        result = RESULT_OF[type(response)]
+        self.metrics.finished[pending.request.request_class][result] += 1
+        if (
+            pending.reserved_units is not None
+            and result is not RequestResult.COMPLETED
+            and self._reserved_admission is not None
+        ):
+            self._reserved_admission.unserved(pending.reserved_units, pending.unserved_cause)
+
+    def _release(self, pending: PendingRequest) -> None:
+        """Nothing more is done for a request; an attempt in flight is aborted, and its end still reported."""
+        if pending.deadline_timer is not None:
+            pending.deadline_timer.cancel()
+        if pending.attempt is None:
+            self._remove(pending)
+        else:
+            pending.attempt.abort(api.Verdict.CANCELLED, final=True)
+
+    def _remove(self, pending: PendingRequest) -> None:
+        if self._pending.pop(pending.id, None) is not None:
+            self._bodies_bytes -= len(pending.request.body or b"")
+
+
+def _engine_type(with_reservations: bool) -> type[DecisionEngine]:
+    if not with_reservations:
+        return DecisionEngine
+    # Loaded only where reservations are on: it costs memory.
+    from badgeryoke.decisions.priority_admission import PriorityDecisionEngine
+
+    return PriorityDecisionEngine
--- /dev/null
+++ b/badgeryoke/gateway/lifecycle.py
@@ -0,0 +1,345 @@
+"""The life of one gateway: its start, its graceful shutdown, and its place in a hot restart.
+
+The shutdown's states and transitions are in `badgeryoke.gateway.graceful_shutdown`; this module posts the events
+and carries out the effects.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import math
+import os
+import socket
+from collections.abc import Coroutine
+from typing import TYPE_CHECKING, Any
+
+from tornado.netutil import bind_sockets
+
+from badgeryoke.gateway.config.platform_file import Address
+from badgeryoke.gateway.graceful_shutdown import (
+    GracefulShutdown,
+    ShutdownEffect,
+    ShutdownEvent,
+)
+from badgeryoke.gateway.parts import GatewayParts
+from badgeryoke.gateway.resp.listener import BACKLOG
+
+if TYPE_CHECKING:
+    from badgeryoke.decisions.state_snapshot import StateSnapshot
+    from badgeryoke.gateway.admin.server import AdminOperations, AdminServer
+    from badgeryoke.gateway.cluster.connection_leases import DrainableGateway
+    from badgeryoke.gateway.cluster.service import ClusterService
+    from badgeryoke.gateway.hot_restart.transfer import SnapshotReceiver, SnapshotSender
+
+log = logging.getLogger(__name__)
+
+UPSTREAM_SWEEP_INTERVAL_S = 1.0
+CLIENT_SWEEP_INTERVAL_S = 0.1
+LAG_SAMPLE_INTERVAL_S = 0.01
+POLL_INTERVAL_S = 0.02  # of what the shutdown waits for
+FAST_POLL_INTERVAL_S = 0.01  # of what a start or the cluster's end waits for
+DIAMETER_BACKLOG = 128
+ADMIN_BACKLOG = 64
+# SIGKILL comes no sooner after SIGTERM than the longest deadline, counted as 3 s where it is longer, and
+# 0.7 s more; what was accepted after SIGTERM has its whole deadline still.
+MAX_COUNTED_DEADLINE_S = 3.0
+KILL_MARGIN_S = 0.55
+LAST_RESPONSES_S = 0.05  # for the last responses to go out
+# While the process that is replaced lives, the new one keeps to this part of the bound on client connections.
+OVERLAP_CLIENTS_FRACTION = 0.5
+LEASE_RETURN_S = 0.5  # for connections that are not in use any more, before the cluster's part ends
+DISCOVERY_WAIT_S = 1.0  # for discovery's first answer, before a predecessor's state is asked for
+
+
+class Lifecycle:
+    """Starts a gateway's parts, and ends them in order.  Driven by signals, operators, and other processes."""
+
+    def __init__(self, parts: GatewayParts) -> None:
+        self._parts = parts
+        self.shutdown = GracefulShutdown()
+        self._terminated_at_s = math.inf  # the loop's time at the first SIGTERM
+        self._admin_server: AdminServer | None = None
+        self.snapshot_sender: SnapshotSender | None = None
+        self.listening = False  # for clients
+        self.done = asyncio.Event()  # everything accepted has its response, and the process may end
+        self._tasks: set[asyncio.Task[None]] = set()  # referenced here, or they could be collected
+        # The bound addresses, where port 0 was asked for; set at the start.
+        self.address: Any  # as getsockname() gives them: a family's own form
+        self.admin_address: Any
+        self.diameter_address: Any
+
+    # Start.
+
+    def start(self, operations: AdminOperations, drainable: DrainableGateway) -> None:
+        """Listen, connect and watch."""
+        parts = self._parts
+        if parts.config.operators.fleet is not None:
+            self._start_cluster(drainable)
+        if parts.counter is not None:
+            parts.counter.open()
+        parts.discovery.start()
+        if parts.config.mgmt is not None:
+            self._start_admin_server(operations, parts.config.mgmt)
+        if parts.config.socket_fd is None or parts.config.folder is None:
+            self._listen()
+        else:
+            self._run_task(self._succeed_predecessor(parts.config.folder))
+        self._start_diameter()
+        parts.loop.call_later(UPSTREAM_SWEEP_INTERVAL_S, self._sweep_upstreams)
+        parts.loop.call_later(CLIENT_SWEEP_INTERVAL_S, self._sweep_clients)
+        self._sample_lag(parts.loop.time())
+
+    def _run_task(self, work: Coroutine[None, None, None]) -> asyncio.Task[None]:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        return task
+
+    async def cancel_tasks(self) -> None:
+        """End what still runs beside the event loop's callbacks; the last step of the process."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def _start_cluster(self, drainable: DrainableGateway) -> None:
+        # Loaded only where the cluster is on: it costs memory.
+        from badgeryoke.gateway.cluster.connection_leases import ConnectionLeases
+        from badgeryoke.gateway.cluster.service import ClusterService
+
+        parts, settings = self._parts, self._parts.config.operators.fleet
+        assert settings is not None
+        parts.cluster = cluster = ClusterService(settings, parts.config.name)
+        # A connection is used as long as the longest request on it, and then rests.
+        idle_ms = parts.config.idle_ms + parts.longest_deadline_ms
+        leases = ConnectionLeases(settings, parts.loop, cluster.now, idle_ms, drainable)
+        parts.connection_leases = cluster.pools = parts.upstreams.connection_leases = leases
+        cluster.on_floor = parts.dispatcher.enable_reservations
+        cluster.start()
+
+    def _start_admin_server(self, operations: AdminOperations, address: Address) -> None:
+        from badgeryoke.gateway.admin.server import AdminServer  # loaded only where it is configured
+
+        self._admin_server = AdminServer(operations)
+        host, port = address
+        family = socket.AF_INET if "." in host else socket.AF_UNSPEC
+        sockets = bind_sockets(port, host, family, ADMIN_BACKLOG)[:1]
+        self.admin_address = sockets[0].getsockname()
+        self._run_task(self._admin_server.serve(sockets))
+        log.info("admin calls are accepted on %s:%d", host, port)
+
+    def _start_diameter(self) -> None:
+        parts = self._parts
+        if parts.diameter_listener is None or parts.config.diameter is None:
+            return
+        if (address := parts.config.diameter.listen) is None:
+            return
+        sockets = bind_sockets(address[1], address[0], backlog=DIAMETER_BACKLOG)
+        self.diameter_address = sockets[0].getsockname()
+        parts.diameter_listener.add_sockets(sockets)
+        log.info("Diameter listens on %s:%d", *address)
+
+    def _listen(self) -> None:
+        """Accept clients."""
+        config = self._parts.config
+        host, port = config.listen
+        if config.socket_fd is None:
+            sockets = bind_sockets(port, host, backlog=BACKLOG)
+        else:
+            sockets = [socket.socket(fileno=os.dup(config.socket_fd))]  # our own to close
+            sockets[0].setblocking(False)
+        self.address = sockets[0].getsockname()
+        self._parts.resp_listener.add_sockets(sockets)
+        self.listening = True
+        log.info("gateway %s listens on %s:%d", config.name, host, port)
+
+    # Periodic work.
+
+    def _sweep_upstreams(self) -> None:
+        self._parts.upstreams.sweep()
+        self._parts.loop.call_later(UPSTREAM_SWEEP_INTERVAL_S, self._sweep_upstreams)
+
+    def _sweep_clients(self) -> None:
+        self._parts.resp_listener.sweep()
+        self._parts.loop.call_later(CLIENT_SWEEP_INTERVAL_S, self._sweep_clients)
+
+    def _sample_lag(self, due_s: float) -> None:
+        """Tell the dispatcher how late the event loop runs this timer."""
+        loop = self._parts.loop
+        now_s = loop.time()
+        self._parts.dispatcher.record_loop_lag((now_s - due_s) * 1000.0)
+        loop.call_later(LAG_SAMPLE_INTERVAL_S, self._sample_lag, now_s + LAG_SAMPLE_INTERVAL_S)
+
+    # Hot restart.
+
+    async def _succeed_predecessor(self, folder: str) -> None:
+        """Take over the state of the process that serves, if one does, then serve in its place."""
+        from badgeryoke.gateway.hot_restart import transfer  # loaded only where a process is replaced
+
+        parts = self._parts
+        path = transfer.socket_path(folder, parts.config.name)
+        receiver = transfer.SnapshotReceiver(path)
+        until_s = parts.loop.time() + DISCOVERY_WAIT_S  # a snapshot knows servers by discovery's names
+        while not parts.discovery.heard and parts.loop.time() < until_s:
+            await asyncio.sleep(FAST_POLL_INTERVAL_S)
+        await self._restore_from(receiver)
+        if self.shutdown.ending:
+            return
+        self._listen()
+        self.snapshot_sender = transfer.SnapshotSender(path, self)
+        await self.snapshot_sender.listen()
+        await receiver.confirm_serving(lambda: parts.resp_listener.share(1.0))
+
+    async def _restore_from(self, receiver: SnapshotReceiver) -> None:
+        parts = self._parts
+        if (snapshot := await receiver.receive()) is None:
+            return
+        parts.dispatcher.restore_snapshot(snapshot, parts.discovery.numbers)
+        parts.resp_listener.share(OVERLAP_CLIENTS_FRACTION)
+        if parts.connection_leases is not None:
+            parts.connection_leases.alone = False  # the predecessor answers what it has accepted
+        log.info("state restored: %d customers, %d servers", len(snapshot.ledgers), len(snapshot.peers))
+
+    def take_snapshot(self) -> StateSnapshot | str:
+        """The state for a successor, or why there is none (hot_restart.transfer.Predecessor)."""
+        if self.shutdown.ending:
+            return f"this process is {self.shutdown.state.value}"
+        names = {number: name for name, number in self._parts.discovery.numbers.items()}
+        return self._parts.dispatcher.take_snapshot(names)
+
+    def successor_ready(self, snapshot: StateSnapshot) -> None:
+        """The successor serves by this snapshot (hot_restart.transfer.Predecessor)."""
+        self._parts.dispatcher.mark_transferred(snapshot)
+        self.post(ShutdownEvent.SUCCESSOR_READY)
+        if self._parts.cluster is not None:  # the successor waits for the folder
+            self._run_task(self._leave_cluster(self._parts.cluster))
+
+    # Graceful shutdown.
+
+    def terminate(self) -> None:
+        """SIGTERM: go on accepting connections for a while, answer everything, then end."""
+        parts = self._parts
+        if not self.shutdown.ending:
+            log.info("ending: %d unanswered", parts.dispatcher.unanswered)
+            if parts.cluster is not None:
+                if parts.connection_leases is not None:
+                    parts.connection_leases.leave()
+                self._run_task(parts.cluster.leave())
+        self._terminated_at_s = min(self._terminated_at_s, parts.loop.time())
+        self.post(ShutdownEvent.TERMINATE)
+
+    def post(self, event: ShutdownEvent, generation: int | None = None) -> None:
+        """Post an event to the shutdown's state machine, and carry out the effects."""
+        before = self.shutdown.state
+        effects = self.shutdown.post(event, generation)
+        if self.shutdown.state is not before:
+            unanswered = self._parts.dispatcher.unanswered
+            log.info("%s: %s, %d unanswered", event.value, self.shutdown.state.value, unanswered)
+        for effect in effects:
+            self._execute(effect)
+
+    def _execute(self, effect: ShutdownEffect) -> None:
+        match effect:
+            case ShutdownEffect.FAIL_PING:
+                self._set_rejecting(True)
+            case ShutdownEffect.PASS_PING:
+                self._set_rejecting(False)
+            case ShutdownEffect.START_NOTICE_TIMER:
+                self._parts.loop.call_later(
+                    self._parts.config.drain_s,
+                    self.post,
+                    ShutdownEvent.NOTICE_ELAPSED,
+                    self.shutdown.generation,
+                )
+            case ShutdownEffect.CLOSE_CONNECTIONS:
+                self._close_connections()
+            case ShutdownEffect.KEEP_CONNECTIONS:
+                self._parts.resp_listener.keep_links()
+            case ShutdownEffect.STOP_ACCEPTING:
+                self._stop_accepting()
+            case ShutdownEffect.AWAIT_REQUESTS:
+                self._await_requests()
+            case ShutdownEffect.REPORT_USAGE:
+                self._report_usage()
+            case ShutdownEffect.EXIT:
+                self._exit()
+
+    def _set_rejecting(self, rejecting: bool) -> None:
+        self._parts.resp_listener.turning = rejecting
+        if self._parts.diameter_listener is not None:
+            self._parts.diameter_listener.turning = rejecting
+
+    def _close_connections(self) -> None:
+        self._parts.resp_listener.close_links()
+        if self._parts.diameter_listener is not None:
+            for peer in list(self._parts.diameter_listener.links):
+                peer.end()
+
+    def _stop_accepting(self) -> None:
+        self._parts.resp_listener.stop()
+        if self._parts.diameter_listener is not None:
+            self._parts.diameter_listener.stop()
+
+    def _await_requests(self) -> None:
+        loop = self._parts.loop
+        counted_s = min(self._parts.longest_deadline_ms / 1000.0, MAX_COUNTED_DEADLINE_S) + KILL_MARGIN_S
+        remaining_s = max(self._terminated_at_s + counted_s - loop.time(), 0.0)
+        loop.call_later(remaining_s, self._parts.resp_listener.refuse_rest)
+        loop.call_later(remaining_s, self._answer_all_now)
+        self._poll_connections()
+
+    def _answer_all_now(self) -> None:
+        """SIGKILL is near.  A deadline beyond MAX_COUNTED_DEADLINE_S may still run, and a request that ends here
+        without a response is lost: each gets its final one now."""
+        if not self.done.is_set():
+            log.warning(
+                "no time is left: %d unanswered requests are rejected or failed",
+                self._parts.dispatcher.unanswered,
+            )
+            self._parts.dispatcher.answer_all_now()
+            self._parts.loop.call_later(LAST_RESPONSES_S, self.post, ShutdownEvent.TIME_EXPIRED)
+
+    def _poll_connections(self) -> None:
+        diameter = self._parts.diameter_listener
+        if self._parts.resp_listener.links or (diameter is not None and diameter.links):
+            self._parts.loop.call_later(POLL_INTERVAL_S, self._poll_connections)
+            return
+        self.post(ShutdownEvent.ALL_ANSWERED)
+
+    def _report_usage(self) -> None:
+        log.info("ended: all answered")
+        self._parts.discovery.stop()
+        self._parts.dispatcher.flush_timers()
+        until_s = self._parts.loop.time() + self._parts.config.settings.counter_timeout_ms / 1000.0
+        self._parts.loop.call_later(POLL_INTERVAL_S, self._poll_reports, until_s)
+
+    def _poll_reports(self, until_s: float) -> None:
+        """The last reports have the time that any call has: closed at once, they would be cut off."""
+        loop, counter = self._parts.loop, self._parts.counter
+        if counter is not None:
+            if counter.busy and loop.time() < until_s:
+                loop.call_later(POLL_INTERVAL_S, self._poll_reports, until_s)
+                return
+            counter.close()
+        loop.call_later(POLL_INTERVAL_S, self.post, ShutdownEvent.USAGE_REPORTED)
+
+    def _exit(self) -> None:
+        if self._admin_server is not None:
+            self._admin_server.end()
+        if self.snapshot_sender is not None:
+            self.snapshot_sender.close()
+        if self._parts.cluster is not None:
+            leaving = self._run_task(self._leave_cluster(self._parts.cluster))
+            leaving.add_done_callback(lambda _: self.done.set())
+        else:
+            self.done.set()
+
+    async def _leave_cluster(self, cluster: ClusterService) -> None:
+        """Hand over what this gateway leads in the cluster, in a time that is bounded."""
+        leases, loop = self._parts.connection_leases, self._parts.loop
+        if leases is not None:
+            leases.leave()
+            until_s = loop.time() + LEASE_RETURN_S
+            while not leases.empty and loop.time() < until_s:
+                await asyncio.sleep(FAST_POLL_INTERVAL_S)
+        await cluster.leave()
+        cluster.close()
--- a/badgeryoke/gateway/quota_counter/client.py
+++ b/badgeryoke/gateway/quota_counter/client.py
@@ -13,7 +13,8 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from badgeryoke.decisions.interface import CounterReply, Verdict
-from badgeryoke.gateway.actor import Actor, ActorScheduler, dial, on_close, pump
+from badgeryoke.gateway.actor import Actor, ActorScheduler
+from badgeryoke.gateway.connecting import dial, on_close, pump
 from badgeryoke.gateway.resp.codec import ErrorReply, RespParser, Value, command
 
 log = logging.getLogger(__name__)
@@ -144,7 +145,7 @@
             self._timed.append(call)
             self._watch()
 
-    def turn_ended(self) -> None:
+    def batch_ended(self) -> None:
         """Write what the turn has gathered."""
         used = self._used
         if not self._unwritten or used is None:
--- /dev/null
+++ b/badgeryoke/gateway/reload.py
@@ -0,0 +1,84 @@
+"""Reload at SIGHUP: the configuration is read again, and its settings and addresses are applied in one step."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from dataclasses import replace
+
+from badgeryoke.gateway.config.platform_file import Config, ConfigError, lacking
+from badgeryoke.gateway.parts import GatewayParts
+
+log = logging.getLogger(__name__)
+
+# What belongs to the process, and waits for the next start.
+PROCESS_FIELDS = (
+    "name",
+    "listen",
+    "seed",
+    "sockets",
+    "memory_mb",
+    "known",
+    "drain_s",
+    "mgmt",
+    "socket_fd",
+    "folder",
+    "diameter",
+    "operators",
+)
+UNREPORTED_FIELDS = frozenset({"seed", "known"})  # differ from file to file, which concerns nobody
+
+
+def reload_config(parts: GatewayParts, reread: Callable[[], Config]) -> None:
+    """Read the configuration again, and apply it or reject it as a whole.
+
+    Requests in flight keep the class they began with.  A rejected configuration is logged with its faulty key
+    and counted; the one in force stays.
+    """
+    try:
+        config = _read_valid(parts, reread)
+    except ConfigError as fault:
+        parts.dispatcher.metrics.reload_errors += 1
+        log.error("reload: configuration: %s; the old one stays", fault)
+        return
+    old = parts.config
+    kept = {field: getattr(old, field) for field in PROCESS_FIELDS}
+    parts.config = replace(config, counter=config.counter or old.counter, **kept)
+    _apply(parts)
+    parts.dispatcher.metrics.reloads += 1
+    _log_changes(old, config, parts.config)
+
+
+def _read_valid(parts: GatewayParts, reread: Callable[[], Config]) -> Config:
+    config = reread()
+    if missing := lacking(parts.config.shape, config.shape):
+        raise ConfigError(f"{missing}: missing, and the file in force has it")
+    if config.settings.has_counter and parts.counter is None:
+        raise ConfigError("settings.family_info.has_counter: a counter waits for the next start")
+    return config
+
+
+def _apply(parts: GatewayParts) -> None:
+    config, settings = parts.config, parts.config.settings
+    parts.discovery.move(config.discovery)
+    parts.discovery.retune(settings.gateway_count)
+    if parts.counter is not None and config.counter is not None:
+        parts.counter.move(config.counter)
+        parts.counter.retune(settings.counter_timeout_ms)
+    parts.upstreams.update_settings(config)
+    if parts.diameter_listener is not None:
+        parts.diameter_listener.register.retune(settings)
+    parts.dispatcher.update_settings(settings)
+
+
+def _log_changes(old: Config, read: Config, applied: Config) -> None:
+    """Say what is in force now, and which fields of the file are not."""
+    for field in PROCESS_FIELDS:
+        if field not in UNREPORTED_FIELDS and getattr(read, field) != getattr(old, field):
+            log.warning("reload: %s differs: applied at the next start only", field)
+    log.info("reload: discovery at %s:%d", *applied.discovery)
+    if applied.counter is not None:
+        log.info("reload: counter at %s:%d", *applied.counter)
+    if applied.settings != old.settings:
+        names = ", ".join(request_class.name for request_class in applied.settings.classes)
+        log.info("reload: new settings, classes %s", names)
--- a/badgeryoke/gateway/reserved_admission.py
+++ b/badgeryoke/gateway/reserved_admission.py
@@ -1,8 +1,9 @@
-"""Queries of customers with a contract: drawn under this gateway's lease before the module sees them.
+"""Admission of requests whose customer has a reservation: their units are drawn from this gateway's lease before
+the decision module sees them.
 
-Loaded only where the fleet's part is on.  A query that finds no room in the bucket waits its turn there if
-its deadline leaves the time, and is an ordinary one if none comes; what was drawn and not served is counted
-short, with its cause.
+Loaded only where the cluster is on.  A request that finds no units in the lease's bucket waits for them if its
+deadline leaves the time, and becomes an ordinary request if none come; what was drawn and not served is counted
+as a shortfall, with its cause.
 """
 
 from __future__ import annotations
@@ -14,105 +15,114 @@
 from badgeryoke.cluster.reservations.lease_client import WAIT_MS, ReservedUnits
 from badgeryoke.gateway.actor import ActorScheduler
 from badgeryoke.gateway.attempt import Request
-from badgeryoke.gateway.dispatcher import LATE
+from badgeryoke.gateway.pending_request import UnservedCause
 
 log = logging.getLogger(__name__)
 
-TURN_S = 0.004  # between two looks at who has its turn, while any waits
-PATIENT_MS = (
-    2.0 * WAIT_MS
-)  # of its time a query must have left to wait: the longest wait, and as much to be served in
+POLL_INTERVAL_S = 0.004  # between two polls of the waiting requests, while there are any
+# What a request must have left of its time to wait: the longest wait, and as much to be served in.
+MIN_REMAINING_MS = 2.0 * WAIT_MS
+FAULT_LOG_INTERVAL = 1000  # the first fault is logged, and each so many-th
 
 
-class ReservationLeases(Protocol):
-    """This gateway's stakes (`badgeryoke.cluster.reservations.lease_client.Floor`); times are ms of the
-    fleet's clock here."""
+class ReservedRequest(Protocol):
+    """A pending request, as reserved admission sees it."""
 
-    @property
-    def stakes(self) -> Mapping[str, object]:
-        """By contract; none: no call is worth its time."""
+    request: Request
+    reserved_units: ReservedUnits | None
+    unserved_cause: str  # why it was not served, if it is not; set from when `reserved_units` is
 
-    def take(self, now: float, customer: int, units: float) -> ReservedUnits | None: ...
 
-    def wait(self, now: float, customer: int, units: float, token: Any) -> bool: ...
+class ReservationLeases(Protocol):
+    """This gateway's leases (`badgeryoke.cluster.reservations.lease_client.ReservationClient`).
 
-    def turns(self, now: float) -> list[tuple[Any, ReservedUnits | None]]: ...
+    Times are ms of the cluster's clock.  A token is the waiting request: the leases give it back and never look
+    into it.
+    """
 
-    def failed(self, now: float, reserved: ReservedUnits, cause: str) -> None: ...
+    @property
+    def stakes(self) -> Mapping[str, object]:
+        """The leases by contract; empty: no call is worth its time."""
 
+    def take(self, now: float, customer: int, units: float) -> ReservedUnits | None:
+        """Draw units; None where there is no contract, or too few units now."""
 
-class ReservedRequest(Protocol):
-    """A query as the core keeps it."""
+    def wait(self, now: float, customer: int, units: float, token: Any) -> bool:
+        """Queue for units; False where a wait has no prospect."""
+
+    def turns(self, now: float) -> list[tuple[Any, ReservedUnits | None]]:
+        """Take out who has waited long enough, with the units drawn or None."""
 
-    query: Request
-    reserved: ReservedUnits | None
-    cause: str  # why it was not served, if it is not; set from the moment at which `reserved` is
+    def failed(self, now: float, reserved: ReservedUnits, cause: str) -> None:
+        """Count units that were drawn and not served."""
 
 
 class ReservedAdmission:
-    """Between the core and the stakes.  `ask`: the core's, for a query that has waited."""
+    """Between the dispatcher and the leases.  `on_wait_ended` is called with a request that has waited."""
 
     def __init__(
         self,
-        floor: ReservationLeases,
+        leases: ReservationLeases,
         now: Callable[[], float],
         loop: ActorScheduler,
-        ask: Callable[[Any], None],
+        on_wait_ended: Callable[[Any], None],  # Any: given a token, see ReservationLeases
     ) -> None:
-        self._floor, self._now, self._loop, self._ask = floor, now, loop, ask
+        self._leases, self._now, self._loop, self._on_wait_ended = leases, now, loop, on_wait_ended
         self._waiting = 0
-        self.faults = 0
+        self.faults = 0  # exceptions of the leases
 
-    def draw(self, run: ReservedRequest) -> bool:
-        """Draw a query's units; False where there is no contract, or no room now."""
-        if not self._floor.stakes:
+    def reserve(self, pending: ReservedRequest) -> bool:
+        """Draw a request's units; False where there is no contract, or too few units now."""
+        if not self._leases.stakes:
             return False
-        run.cause = LATE
+        pending.unserved_cause = UnservedCause.LATE
         try:
-            run.reserved = self._floor.take(self._now(), run.query.customer, run.query.units)
-        except Exception:
-            self._fault()
-        return run.reserved is not None
-
-    def waits(self, run: ReservedRequest, left_ms: float) -> bool:
-        """Whether a query that found no room waits its turn; the core's `ask` is called when that has
-        come."""
-        if left_ms < PATIENT_MS or not self._floor.stakes:
+            request = pending.request
+            pending.reserved_units = self._leases.take(self._now(), request.customer, request.units)
+        except Exception:  # a fault in the leases makes it an ordinary request
+            self._record_fault()
+        return pending.reserved_units is not None
+
+    def enqueue(self, pending: ReservedRequest, remaining_ms: float) -> bool:
+        """Whether a request that found no units waits for them; `on_wait_ended` is called when it has."""
+        if remaining_ms < MIN_REMAINING_MS or not self._leases.stakes:
             return False
         try:
-            if not self._floor.wait(self._now(), run.query.customer, run.query.units, run):
+            request = pending.request
+            if not self._leases.wait(self._now(), request.customer, request.units, pending):
                 return False
-        except Exception:
-            self._fault()
+        except Exception:  # a fault in the leases makes it an ordinary request
+            self._record_fault()
             return False
         if not self._waiting:
-            self._loop.call_later(TURN_S, self._look)
+            self._loop.call_later(POLL_INTERVAL_S, self._poll_queue)
         self._waiting += 1
         return True
 
-    def _look(self) -> None:
-        turns: list[tuple[Any, ReservedUnits | None]] = []
+    def _poll_queue(self) -> None:
+        ended: list[tuple[Any, ReservedUnits | None]] = []
         try:
-            turns = self._floor.turns(self._now())
-        except Exception:
-            self._fault()  # who waits is answered at its deadline, by the core
-        for run, reserved in turns:
-            run.reserved = reserved
-            self._ask(run)
-        self._waiting -= len(turns)
+            ended = self._leases.turns(self._now())
+        except Exception:  # who waits is answered at its deadline, by the dispatcher
+            self._record_fault()
+        for pending, reserved_units in ended:
+            pending.reserved_units = reserved_units
+            self._on_wait_ended(pending)
+        self._waiting -= len(ended)
         if self._waiting:
-            self._loop.call_later(TURN_S, self._look)
+            self._loop.call_later(POLL_INTERVAL_S, self._poll_queue)
         self._loop.run()
 
-    def _fault(self) -> None:
-        """A fault in the stakes makes a query an ordinary one, and costs none its answer."""
-        self.faults += 1
-        if self.faults == 1 or self.faults % 1000 == 0:
-            log.exception("fault %d of this gateway's contracts", self.faults)
-
-    def unserved(self, reserved: ReservedUnits, cause: str) -> None:
-        """What was drawn has its final answer, and no server served it."""
+    def unserved(self, reserved_units: ReservedUnits, cause: str) -> None:
+        """Units were drawn for a request that has its final response, and no server served it."""
         try:
-            self._floor.failed(self._now(), reserved, cause)
-        except Exception:
-            self._fault()
+            # Plain text: the cause becomes a key in the cluster's records.
+            self._leases.failed(self._now(), reserved_units, str(cause))
+        except Exception:  # a missing count must not cost the request its response
+            self._record_fault()
+
+    def _record_fault(self) -> None:
+        """Count an exception of the leases; called while it is handled."""
+        self.faults += 1
+        if self.faults == 1 or self.faults % FAULT_LOG_INTERVAL == 0:
+            log.exception("fault %d of this gateway's reservation leases", self.faults)
--- a/badgeryoke/gateway/resp/client_connection.py
+++ b/badgeryoke/gateway/resp/client_connection.py
@@ -16,8 +16,8 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from badgeryoke.gateway.actor import Actor, ActorScheduler
-from badgeryoke.gateway.attempt import Request, customer_number
-from badgeryoke.gateway.dispatcher import Dispatcher, Rejected, Response, Served, Streaming
+from badgeryoke.gateway.attempt import Request, parse_customer
+from badgeryoke.gateway.dispatcher import Dispatcher
 from badgeryoke.gateway.resp.codec import (
     MAX_BULK,
     RespParser,
@@ -29,6 +29,7 @@
     whole_number,
 )
 from badgeryoke.gateway.response_stream import ResponseStream
+from badgeryoke.gateway.responses import Rejected, Response, Served, Streaming
 
 log = logging.getLogger(__name__)
 N = TypeVar("N", int, float)
@@ -68,17 +69,17 @@
     try:
         query = Request(
             id=rid.decode("ascii"),
-            cls=given["c"],
+            request_class=given["c"],
             plan=given["t"],
-            customer=customer_number(customer),
+            customer=parse_customer(customer),
             remaining_ms=_field("d", number, given["d"], MOST_MS),
             units=_field("units", number, given["units"], MOST_UNITS),
-            spread=_field("spread", whole_number, given["spread"], MOST_GATEWAYS),
-            first=_field("first", whole_number, given["first"], MOST_GATEWAYS),
+            gateway_set_size=_field("spread", whole_number, given["spread"], MOST_GATEWAYS),
+            first_gateway=_field("first", whole_number, given["first"], MOST_GATEWAYS),
             retry=retry == "1",
-            key=key,
-            safe=safe,
-            streams=True,
+            idempotency_key=key,
+            idempotent=safe,
+            accepts_stream=True,
         )
     except KeyError as missing:
         raise ValueError(f"no {missing.args[0]} in the list") from None
@@ -99,8 +100,8 @@
 def encode(answer: Response) -> bytes:
     """A final answer on this wire; of a long value the head."""
     match answer:
-        case Streaming(relay=relay):
-            return b"$%d\r\n" % relay.length
+        case Streaming(stream=relay):
+            return b"$%d\r\n" % relay.length_bytes
         case Served(value=value):
             return bulk(value)
         case Rejected(retry_after_ms=wait):
@@ -171,7 +172,7 @@
     @property
     def idle(self) -> bool:
         """Whether nothing is open, on its way in or on its way out: the connection may be closed."""
-        if self._stream.closed() or self._slots or self._mail or not self._parser.idle or self._ending:
+        if self._stream.closed() or self._slots or self._mailbox or not self._parser.idle or self._ending:
             return False
         return not self._stream.writing() and not self._in_hand and not _unread(self._stream)
 
@@ -290,7 +291,7 @@
         if name in COMMANDS:
             try:
                 query = read_request(value)
-                if problem := self._core.problem(query):
+                if problem := self._core.validate(query):
                     raise ValueError(problem)
             except (ValueError, OverflowError) as fault:
                 self._refuse(slot, f"syntax: {fault}")
@@ -317,15 +318,15 @@
 
     def _answered(self, slot: _Slot, answer: Response) -> None:
         if isinstance(answer, Streaming):
-            slot.reply, slot.relay = encode(answer), answer.relay
-            answer.relay.on_piece = lambda: self.post(self._moved)
+            slot.reply, slot.relay = encode(answer), answer.stream
+            answer.stream.on_change = lambda: self.post(self._moved)
         else:
             slot.reply, slot.left = encode(answer), None
 
     def _moved(self) -> None:
         """A relay has more, there is room for more, or the end may have come: the end of this turn looks."""
 
-    def turn_ended(self) -> None:
+    def batch_ended(self) -> None:
         """Write the answers that are at the head of the order, in one piece."""
         slots = self._slots
         out: list[bytes | None] = []
@@ -369,7 +370,7 @@
     def _pass_on(self, slot: _Slot, relay: ResponseStream, out: list[bytes | None]) -> bool:
         """Add the next piece of a long value to what is written, one piece at a time so that a slow client
         holds back the server and not this gateway's memory; True once it is whole."""
-        if relay.broken:  # what lies behind it in the order cannot be told from the rest of it
+        if relay.aborted:  # what lies behind it in the order cannot be told from the rest of it
             self._broken = self._ending = True
             self._loop.call_soon(self._stream.close)
             return False
@@ -378,13 +379,13 @@
         if slot.reply:
             out.append(slot.reply)
             slot.reply = b""
-        if piece := relay.take(PIECE):
+        if piece := relay.read(PIECE):
             out.append(piece)
-        if relay.held or not relay.whole:
+        if relay.buffered_bytes or not relay.complete:
             return False
         out.append(b"\r\n")
         slot.left = None
-        relay.drained()
+        relay.delivered()
         return True
 
     def _finish(self) -> None:
--- a/badgeryoke/gateway/resp/upstream_connection.py
+++ b/badgeryoke/gateway/resp/upstream_connection.py
@@ -18,8 +18,9 @@
 
 from tornado.iostream import IOStream, StreamClosedError
 
-from badgeryoke.gateway.actor import READ_CHUNK, Actor, ActorScheduler, dial, on_close
+from badgeryoke.gateway.actor import Actor, ActorScheduler
 from badgeryoke.gateway.attempt import Attempt, Request
+from badgeryoke.gateway.connecting import READ_CHUNK_BYTES, dial, on_close
 from badgeryoke.gateway.resp.codec import (
     MAX_LONG,
     ErrorReply,
@@ -30,7 +31,7 @@
     number,
     pairs,
 )
-from badgeryoke.gateway.response_stream import WINDOW, BufferBudget, ResponseStream
+from badgeryoke.gateway.response_stream import MAX_WINDOW_BYTES, BufferBudget, ResponseStream
 
 if TYPE_CHECKING:
     from badgeryoke.gateway.cluster.connection_leases import UpstreamLease
@@ -50,12 +51,12 @@
 
 def encode(query: Request, safe: bool, left_ms: float) -> bytes:
     """A query as a client would write it, with the time that this gateway will wait."""
-    fields = [f"c={query.cls}", f"t={query.plan}", f"d={max(math.ceil(left_ms), 1)}"]
-    if query.key:
-        fields.append(f"k={query.key}")
+    fields = [f"c={query.request_class}", f"t={query.plan}", f"d={max(math.ceil(left_ms), 1)}"]
+    if query.idempotency_key:
+        fields.append(f"k={query.idempotency_key}")
     if query.retry:
         fields.append("r=1")
-    fields.append(f"units={query.units:.7g},spread={query.spread},first={query.first}")
+    fields.append(f"units={query.units:.7g},spread={query.gateway_set_size},first={query.first_gateway}")
     words = [
         b"SVC.QUERY" if safe else b"SVC.SUBMIT",
         b"%016x" % query.customer,
@@ -88,12 +89,12 @@
     if isinstance(reply, ErrorReply):
         words = reply.decode("ascii", "replace")
         if words == "BUSY" or words.startswith("BUSY "):
-            execution.turned_away(words)
+            execution.rejected(words)
             return Settled()
-        execution.error(words)
+        execution.failed(words)
         return Settled() if words.startswith("ERR failed") else Settled(f"error {words[:80]!r}", False)
     if not isinstance(reply, list) or not 1 <= len(reply) <= 3 or type(reply[0]) not in (bytes, Passed):
-        execution.error("malformed answer")
+        execution.failed("malformed answer")
         return Settled("answer is not an array that begins with a value", False)
     value = reply[0] if type(reply[0]) is bytes else b""  # a long one has been passed on
     use, load = ([*reply[1:], None, None])[:2]
@@ -113,7 +114,7 @@
         complaint = "load report unreadable"
     if not isinstance(use, bytes | None) or not isinstance(load, bytes | None):
         complaint = "figures on use or load are no strings"
-    execution.served(value, cost, report)
+    execution.succeeded(value, cost, report)
     return Settled(complaint)
 
 
@@ -145,7 +146,7 @@
         self.owner.post(self.owner.opened, self)
         with contextlib.suppress(StreamClosedError):
             while True:
-                chunk = READ_CHUNK if self.relay is None else RELAY_CHUNK
+                chunk = READ_CHUNK_BYTES if self.relay is None else RELAY_CHUNK
                 data = await self.stream.read_bytes(chunk, partial=True)
                 self.owner.deliver(self.owner.arrived, self, data)
                 while self.relay is not None and self.relay.full and not self.stream.closed():
@@ -175,7 +176,7 @@
         super().__init__(loop)
         # where the fleet keeps the server's limit: connections are opened and used under it alone
         self.lease = lease
-        self._room = room or BufferBudget(WINDOW)
+        self._room = room or BufferBudget(MAX_WINDOW_BYTES)
         self.address = address
         self._most_units = most_units
         self._clock, self._names = clock, report_names
@@ -205,12 +206,12 @@
 
     def _start(self, execution: Attempt) -> None:
         if self._closed:
-            execution.lost("server is gone")
+            execution.connection_lost("server is gone")
             return
         self._waiting.append(execution)
         self._serve()
         if execution in self._waiting:
-            execution.on_abandon = lambda: self.post(self._unmet, execution)
+            execution.on_abort = lambda: self.post(self._unmet, execution)
             self._loop.call_later(self._connect_ms / 1000.0, self.deliver, self._unmet, execution)
             self._open()
 
@@ -227,8 +228,8 @@
             # its client has left, or its time is up: nothing is opened for it, and no connection is used
             else:
                 self._waiting.popleft()
-                execution.on_abandon = None
-                execution.moot("too late to be sent")
+                execution.on_abort = None
+                execution.not_sent("too late to be sent")
 
     def _rested(self) -> _Connection | None:
         """An idle connection that is sound and has rested: the last used of them, unless its server may be
@@ -299,8 +300,8 @@
         """No connection in time."""
         if execution in self._waiting:
             self._waiting.remove(execution)
-            execution.on_abandon = None
-            execution.lost("no connection in time")
+            execution.on_abort = None
+            execution.connection_lost("no connection in time")
 
     def _too_late(self, connection: _Connection) -> None:
         if not connection.up:
@@ -333,10 +334,10 @@
     def _write(self, connection: _Connection, execution: Attempt, now: float) -> None:
         connection.begun = False
         connection.execution = execution
-        execution.on_abandon = lambda: self.post(self._abandoned, connection, execution)
-        query = execution.query
-        data = encode(query, bool(query.safe), execution.deadline_ms - now)
-        execution.begun = True
+        execution.on_abort = lambda: self.post(self._abandoned, connection, execution)
+        query = execution.request
+        data = encode(query, bool(query.idempotent), execution.deadline_ms - now)
+        execution.write_started = True
         future = connection.stream.write(data)
         if not future.done():
             future.add_done_callback(lambda done: None if done.exception() else execution.written())
@@ -369,7 +370,7 @@
         if parser.long:
             self._pass_on(connection, execution)
         if values:
-            connection.execution = execution.on_abandon = connection.relay = None
+            connection.execution = execution.on_abort = connection.relay = None
             connection.begun, connection.answered_at = False, self._loop.time()
             parser.forget_long()
             settled = settle(execution, values[0], self._names, self._most_units)
@@ -393,16 +394,16 @@
         parser = connection.parser
         pieces, parser.pieces = parser.pieces, []
         if connection.relay is None:
-            if not execution.query.streams:
+            if not execution.request.accepts_stream:
                 parser.fault = parser.fault or "length out of bounds"  # nobody there can take it in pieces
                 return
             relay = connection.relay = ResponseStream(parser.long, self._room)
-            relay.on_room = connection.room.set
-            execution.begins(relay)
+            relay.on_capacity = connection.room.set
+            execution.response_started(relay)
         for piece in pieces:
-            connection.relay.put(piece)
+            connection.relay.append(piece)
         if parser.long_whole:
-            connection.relay.end()
+            connection.relay.finish()
 
     def _unended(self, connection: _Connection, execution: Attempt) -> None:
         """The rest of an answer has not come: a length that does not fit, or a value that has no end."""
@@ -428,19 +429,19 @@
     def _spoilt(self, connection: _Connection, execution: Attempt, text: str) -> None:
         """An answer that cannot be read: it may have run, and the connection is done with."""
         self._complain(text)
-        connection.execution = execution.on_abandon = None
-        self._broken_off(connection, execution, lambda: execution.error("malformed answer"))
+        connection.execution = execution.on_abort = None
+        self._broken_off(connection, execution, lambda: execution.failed("malformed answer"))
         connection.stream.close()
 
     @staticmethod
     def _broken_off(connection: _Connection, execution: Attempt, end: Callable[[], None]) -> None:
         """An attempt ends without the end of its answer; one whose long value came whole is served."""
         relay, connection.relay = connection.relay, None
-        if relay is not None and relay.whole:
-            execution.served(b"")
+        if relay is not None and relay.complete:
+            execution.succeeded(b"")
             return
         if relay is not None:
-            relay.fail()
+            relay.abort()
         end()
 
     def _abandoned(self, connection: _Connection, execution: Attempt) -> None:
@@ -459,9 +460,9 @@
         execution, connection.execution = connection.execution, None
         connection.room.set()
         if execution is not None:
-            execution.on_abandon = None
+            execution.on_abort = None
             detail = str(connection.stream.error or "connection ended")
-            self._broken_off(connection, execution, lambda: execution.lost(detail))
+            self._broken_off(connection, execution, lambda: execution.connection_lost(detail))
         if not connection.up:
             self._opening -= 1
             # Refused or never up: whoever waits is told at once, unless another connection is on its way.
@@ -474,8 +475,8 @@
         """No connection will come for the attempts that wait, but for as many as there are resting ones."""
         while len(self._waiting) > but:
             execution = self._waiting.pop()
-            execution.on_abandon = None
-            execution.lost(detail)
+            execution.on_abort = None
+            execution.connection_lost(detail)
 
     def _complain(self, text: str) -> None:
         """Log a backend's fault once."""
--- a/badgeryoke/gateway/response_stream.py
+++ b/badgeryoke/gateway/response_stream.py
@@ -1,111 +1,112 @@
-"""A long value on its way from a server to a client: what is held between the two links.  No I/O."""
+"""A long value on its way from a server to a client: what is buffered between the two connections.  No I/O."""
 
 from __future__ import annotations
 
 from collections import deque
 from collections.abc import Callable
 
-WINDOW = 128 * 1024  # bytes that one relay holds at most, ...
-WINDOW_LEAST = 4 * 1024  # ... and however many are open, one must move
+MAX_WINDOW_BYTES = 128 * 1024  # that one stream buffers
+MIN_WINDOW_BYTES = 4 * 1024  # however many streams are open, each must move
 
 
 class BufferBudget:
-    """The gateway's bound on bytes of long values, shared out over the relays that are open."""
+    """The gateway's bound on buffered bytes of long values, shared out over the streams that are open."""
 
-    def __init__(self, most: int) -> None:
-        self._most = most
-        self.open = 0
+    def __init__(self, max_bytes: int) -> None:
+        self._max_bytes = max_bytes
+        self.open_streams = 0
 
     @property
-    def window(self) -> int:
-        """What one relay may hold now."""
-        return max(min(self._most // max(self.open, 1), WINDOW), WINDOW_LEAST)
+    def window_bytes(self) -> int:
+        """What one stream may buffer now."""
+        share = self._max_bytes // max(self.open_streams, 1)
+        return max(min(share, MAX_WINDOW_BYTES), MIN_WINDOW_BYTES)
 
 
 class ResponseStream:
-    """One value.  The server link puts in and ends it; the client link takes out."""
+    """One value.  The upstream appends to it and finishes or aborts it; the client's connection reads it."""
 
-    def __init__(self, length: int, room: BufferBudget) -> None:
-        self.length, self._room = length, room
+    def __init__(self, length_bytes: int, budget: BufferBudget) -> None:
+        self.length_bytes, self._budget = length_bytes, budget
         self._pieces: deque[bytes] = deque()
-        self.held = 0
-        self.whole = False  # the last byte and the value's own line end have come
-        self.broken = False  # it will never be whole
-        self.on_piece: Callable[[], None] | None = None  # set by the client link: something changed
-        self.on_room: Callable[[], None] | None = None  # set by the server link: more may come
-        self.on_drained: Callable[[], None] | None = None  # set by the core: the client has it all
+        self.buffered_bytes = 0
+        self.complete = False  # the last byte and the value's own line end have come
+        self.aborted = False  # it will never be complete
+        self.on_change: Callable[[], None] | None = None  # set by the client's connection
+        self.on_capacity: Callable[[], None] | None = None  # set by the upstream: more may come
+        self.on_delivered: Callable[[], None] | None = None  # set by the dispatcher: the client has it all
         self._closed = False
-        room.open += 1
+        budget.open_streams += 1
 
     @property
     def full(self) -> bool:
         """Whether the server's connection is to be left unread for now."""
-        return self.held >= self._room.window and not self.broken
+        return self.buffered_bytes >= self._budget.window_bytes and not self.aborted
 
-    def put(self, piece: bytes) -> None:
+    def append(self, piece: bytes) -> None:
         """The next bytes of the value."""
-        if not self.broken:
+        if not self.aborted:
             self._pieces.append(piece)
-            self.held += len(piece)
-            self._tell()
+            self.buffered_bytes += len(piece)
+            self._notify_reader()
 
-    def end(self) -> None:
+    def finish(self) -> None:
         """All of it has come."""
-        if not self.broken:
-            self.whole = True
+        if not self.aborted:
+            self.complete = True
             self._close()
-            self._tell()
-
-    def fail(self) -> None:
-        """It breaks off here: what is held is of no use, and the client must be able to tell."""
-        if not self.whole and not self.broken:
-            self.broken = True
-            self._drop()
-            self._tell()
-
-    def leave(self) -> None:
-        """Nobody takes any more."""
-        self.broken = True
-        self._drop()
-        self.on_piece = None
-        self._more()
-
-    def take(self, most: int) -> bytes:
+            self._notify_reader()
+
+    def abort(self) -> None:
+        """The server's side breaks off: what is buffered is of no use, and the client must be able to tell."""
+        if not self.complete and not self.aborted:
+            self.aborted = True
+            self._discard()
+            self._notify_reader()
+
+    def cancel(self) -> None:
+        """The client's side has gone: nobody reads any more."""
+        self.aborted = True
+        self._discard()
+        self.on_change = None
+        self._notify_writer()
+
+    def read(self, max_bytes: int) -> bytes:
         """Up to so many bytes, for the client."""
-        out: list[bytes] = []
+        pieces: list[bytes] = []
         size = 0
-        while self._pieces and size < most:
+        while self._pieces and size < max_bytes:
             piece = self._pieces.popleft()
-            if len(piece) > most - size:
-                self._pieces.appendleft(piece[most - size :])
-                piece = piece[: most - size]
-            out.append(piece)
+            if len(piece) > max_bytes - size:
+                self._pieces.appendleft(piece[max_bytes - size :])
+                piece = piece[: max_bytes - size]
+            pieces.append(piece)
             size += len(piece)
-        self.held -= size
+        self.buffered_bytes -= size
         if size and not self.full:
-            self._more()
-        return b"".join(out)
+            self._notify_writer()
+        return b"".join(pieces)
 
-    def drained(self) -> None:
+    def delivered(self) -> None:
         """The client's connection has taken the last byte."""
-        if self.on_drained is not None:
-            done, self.on_drained = self.on_drained, None
-            done()
+        if self.on_delivered is not None:
+            on_delivered, self.on_delivered = self.on_delivered, None
+            on_delivered()
 
-    def _drop(self) -> None:
+    def _discard(self) -> None:
         self._pieces.clear()
-        self.held = 0
+        self.buffered_bytes = 0
         self._close()
 
     def _close(self) -> None:
         if not self._closed:
             self._closed = True
-            self._room.open -= 1
+            self._budget.open_streams -= 1
 
-    def _tell(self) -> None:
-        if self.on_piece is not None:
-            self.on_piece()
+    def _notify_reader(self) -> None:
+        if self.on_change is not None:
+            self.on_change()
 
-    def _more(self) -> None:
-        if self.on_room is not None:
-            self.on_room()
+    def _notify_writer(self) -> None:
+        if self.on_capacity is not None:
+            self.on_capacity()
--- a/badgeryoke/testbed/dispatcher_cost.py
+++ b/badgeryoke/testbed/dispatcher_cost.py
@@ -69,9 +69,9 @@
             lambda: self.loop.now * 1000.0,
             lambda _: self,
             self,
-            reserves=kind != "off",
+            with_reservations=kind != "off",
         )
-        self.core.members(
+        self.core.update_endpoints(
             api.EndpointList(
                 api.ListScope.FULL,
                 tuple(api.Server(number, "a", "std", 0, api.EndpointState.UP) for number in range(1, 9)),
@@ -81,7 +81,7 @@
             floor = ReservationClient("a", "p", Timings())
             if kind != "no contract":
                 self._stake(floor, 5 if kind == "drawn" else 6)
-            self.core.guarantee(floor, lambda: self.loop.now * 1000.0)
+            self.core.enable_reservations(floor, lambda: self.loop.now * 1000.0)
 
     @staticmethod
     def _stake(floor: ReservationClient, customer: int) -> None:
@@ -123,7 +123,7 @@
             self.loop.run()
             for execution in self._out:
                 execution.written()
-                execution.served(b"1")
+                execution.succeeded(b"1")
             self._out.clear()
             self.loop.run()
         took = time.process_time() - begun
--- a/tests/decisions/test_priority_admission.py
+++ b/tests/decisions/test_priority_admission.py
@@ -19,7 +19,8 @@
 from badgeryoke.gateway.actor import ActorScheduler
 from badgeryoke.gateway.attempt import Request
 from badgeryoke.gateway.cluster.service import ClusterService
-from badgeryoke.gateway.dispatcher import Dispatcher, Rejected, Served
+from badgeryoke.gateway.dispatcher import Dispatcher
+from badgeryoke.gateway.responses import Rejected, Served
 from tests.gateway.cluster.test_service import section
 from tests.gateway.test_dispatcher import AIM, Bench, NoCounter
 from tests.gateway.test_service import until
@@ -280,36 +281,36 @@
             self.loop.clock,
             lambda _: self.link,
             NoCounter(),
-            reserves=True,
+            with_reservations=True,
         )
-        self.core.members(api.EndpointList(api.ListScope.FULL, (samples.server(1),)))
+        self.core.update_endpoints(api.EndpointList(api.ListScope.FULL, (samples.server(1),)))
         self.stakes = StandIn(room)
-        self.core.guarantee(self.stakes, lambda: self.loop.time() * 1000.0)
+        self.core.enable_reservations(self.stakes, lambda: self.loop.time() * 1000.0)
         self.ask()  # the burst; drawn, if there is room
         if not room:
             self.stakes.due = True
             self.loop.run(0.01)
             self.stakes.due = False
-        self.last.served(b"first")
+        self.last.succeeded(b"first")
         self.loop.run()
 
 
 def test_what_is_drawn_is_sent_and_the_rest_waits_its_turn_or_is_ordinary() -> None:
     bench = Guaranteed(room=2.0)
     bench.ask()
-    bench.last.served(b"drawn")
+    bench.last.succeeded(b"drawn")
     bench.loop.run()
     bench.ask()
     assert bench.answers == [Served(b"first"), Served(b"drawn")] and len(bench.stakes.waiting) == 1
     bench.stakes.due, bench.stakes.room = True, 1.0
     bench.loop.run(0.01)
-    bench.last.served(b"waited")
+    bench.last.succeeded(b"waited")
     bench.loop.run()
     assert bench.answers[2:] == [Served(b"waited")] and bench.stakes.short == []
     for _ in range(2):  # none in time: ordinary, of which the plan's burst bears one
         bench.ask()
         bench.loop.run(0.01)
-    bench.last.served(b"ordinary")
+    bench.last.succeeded(b"ordinary")
     bench.loop.run(3.0)
     assert bench.answers[3] != bench.answers[4] and len(bench.answers) == 5
     assert (
@@ -327,7 +328,7 @@
     bench = Guaranteed(room=4.0)
     bench.ask()
     while len(bench.answers) < 2:  # as often as attempts are allowed
-        bench.last.turned_away("full")
+        bench.last.rejected("full")
         bench.loop.run()
     bench.ask()  # silence, to the deadline
     bench.loop.run(3.0)
@@ -356,7 +357,7 @@
 
 def test_without_contracts_nothing_of_the_fleet_is_asked() -> None:
     bench = Bench()
-    assert bench.core._guarantee is None and type(bench.core._module) is engine.DecisionEngine
+    assert bench.core._reserved_admission is None and type(bench.core._module) is engine.DecisionEngine
     bench.core.submit(Request("x", "balance-check", "free", 5, 2000.0, 1.0, 1), bench.answers.append)
     bench.loop.run()
     assert bench.link.executions
--- a/tests/decisions/test_settings_parser.py
+++ b/tests/decisions/test_settings_parser.py
@@ -370,10 +370,14 @@
             made = config(list_.port, None, roster(entry("a", node.port)))
             app = GatewayApplication(made, lambda: NOW_MS, lambda: read(tmp_path, faulty.pop(0), True))
             running = asyncio.ensure_future(app.run())
-            await until(lambda: app._hosts.ready)
+            await until(lambda: app.parts.discovery.ready)
             while left := len(faulty):
                 os.kill(os.getpid(), signal.SIGHUP)
-                await until(lambda: app.core.figures.reload_errors + len(faulty) == 3 and len(faulty) < left)
+                await until(
+                    lambda: (
+                        app.parts.dispatcher.metrics.reload_errors + len(faulty) == 3 and len(faulty) < left
+                    )
+                )
                 assert await ask(app, query(f"q{left}")) == [b"value"]
             app.end()
             await running
--- a/tests/gateway/cluster/test_connection_leases.py
+++ b/tests/gateway/cluster/test_connection_leases.py
@@ -124,7 +124,7 @@
         """One attempt."""
         now = boot_ms()
         made = Attempt(
-            Request(f"{len(self.ends):016x}", "c", "p", ord(self.name), deadline_ms, 1.0, 1, safe=True),
+            Request(f"{len(self.ends):016x}", "c", "p", ord(self.name), deadline_ms, 1.0, 1, idempotent=True),
             0,
             1,
             now,
@@ -258,7 +258,7 @@
                 config(list_.port, None, roster(entry("s", node.port))), name="a", operators=operators
             )
             async with gateway(made, lambda: time.time() * 1000.0) as app:
-                reader, writer = await connect(app.address)
+                reader, writer = await connect(app.lifecycle.address)
                 writer.write(query("r1", d=300, plan="free"))
                 assert (await reader.readline())[:1] == b"-"  # the fleet has no majority here
                 assert node.connections == 0
--- a/tests/gateway/cluster/test_service.py
+++ b/tests/gateway/cluster/test_service.py
@@ -485,7 +485,7 @@
 
 
 async def call(app: GatewayApplication, line: bytes) -> bytes:
-    reader, writer = await connect(app.mgmt_address)
+    reader, writer = await connect(app.lifecycle.admin_address)
     writer.write(line)
     said = await reader.read()
     writer.close()
@@ -505,9 +505,9 @@
                 assert await call(app, b"FLEET " + b"x" * 300 + b"\n") == await call(app, b"FLEET\n")
             made = replace(made, name="a", operators=Operators(fleet=section(tmp_path)))
             async with gateway(made) as app:
-                await until(lambda: app.fleet is not None and app.fleet.node is not None)
-                assert app.fleet is not None
-                script = app.fleet.node
+                await until(lambda: app.parts.cluster is not None and app.parts.cluster.node is not None)
+                assert app.parts.cluster is not None
+                script = app.parts.cluster.node
                 assert isinstance(script, Script)
                 script.does = lambda event: (
                     [OperationCompleted("a.1", ApplyResult([1]))]
--- a/tests/gateway/diameter/test_diameter.py
+++ b/tests/gateway/diameter/test_diameter.py
@@ -13,7 +13,7 @@
 from tornado.iostream import IOStream
 
 from badgeryoke.decisions.interface import Verdict
-from badgeryoke.gateway.actor import ActorScheduler, WallClock
+from badgeryoke.gateway.actor import ActorScheduler
 from badgeryoke.gateway.application import GatewayApplication
 from badgeryoke.gateway.attempt import Attempt, Request
 from badgeryoke.gateway.config.platform_file import Config
@@ -21,6 +21,7 @@
 from badgeryoke.gateway.diameter.peer import Peer, PeerState
 from badgeryoke.gateway.diameter.peer import PeerIdentity as PeerIdentity
 from badgeryoke.gateway.diameter.upstream_connection import DiameterUpstream
+from badgeryoke.gateway.wall_clock import WallClock
 from tests.gateway.resp.test_client_connection import ask, play
 from tests.gateway.test_dispatcher import FakeLoop
 from tests.gateway.test_service import until
@@ -67,7 +68,7 @@
 
 
 async def open_peer(app: GatewayApplication, host: str = "pos.example") -> Streams:
-    reader, writer = await connect(app.diameter_address)
+    reader, writer = await connect(app.lifecycle.diameter_address)
     writer.write(cer(host))
     got = await read_message(reader)
     assert (got.command, got.flags, got.result, got.avps[264]) == (257, 0, 2001, b"gw0.yoke.example")
@@ -120,7 +121,7 @@
                 lambda: NOW_MS,
             )
             app.start()
-            await until(lambda: app._hosts.ready)
+            await until(lambda: app.parts.discovery.ready)
             peer = await open_peer(app)
             got = await call(peer, ccr(7), ccr(8, action=2))
             assert [one.result for one in got] == ([2001, 2001] if sent else [5031, 5031])
@@ -219,7 +220,7 @@
 @pytest.mark.parametrize(("sent", "result"), WRONG)
 def test_a_wrong_peer_is_told_and_closed(sent: bytes, result: int | None) -> None:
     async def test(app: GatewayApplication, node: Backend) -> None:
-        reader, writer = await connect(app.diameter_address)
+        reader, writer = await connect(app.lifecycle.diameter_address)
         writer.write(sent)
         if result is not None:
             assert (await read_message(reader)).result == result
@@ -317,7 +318,7 @@
         assert made.diameter is not None
         shut: Config = replace(made, diameter=replace(made.diameter, clients=frozenset({"known.example"})))
         async with gateway(shut) as app:
-            reader, writer = await connect(app.diameter_address)
+            reader, writer = await connect(app.lifecycle.diameter_address)
             writer.write(cer())
             assert (await read_message(reader)).result == 3010
             assert await reader.read() == b""
@@ -424,7 +425,7 @@
 
 def test_a_lost_diameter_server_may_have_run_what_was_written() -> None:
     async def test(app: GatewayApplication, node: DiameterServer) -> None:
-        reader, writer = await connect(app.address)
+        reader, writer = await connect(app.lifecycle.address)
         writer.write(query("r", "load-send", key="5c0f6e1a2b3d4c59"))
         await node.books.arrived.wait()
         node.drop()
@@ -460,7 +461,7 @@
                         for turn in range(2 if action == 0 and n % 3 == 0 else 1):
                             app = apps[(n // 2 + turn) % 2]
                             if mixed and n % 4 < 2:
-                                reader, writer = await connect(app.diameter_address)
+                                reader, writer = await connect(app.lifecycle.diameter_address)
                                 writer.write(
                                     cer()
                                     + ccr(
@@ -531,10 +532,10 @@
     connection.state = PeerState.OPEN
     ends: dict[str, Verdict] = {}
     for name in ("first", "second", "last"):
-        asked = Request(name, "load-send", "small", 5, 1000.0, 1.0, 1, key=name)
+        asked = Request(name, "load-send", "small", 5, 1000.0, 1.0, 1, idempotency_key=name)
         connection.post(
             connection.write,
-            Attempt(asked, 0, 1, 0.0, 1000.0, lambda one, end: ends.update({one.query.id: end.verdict})),
+            Attempt(asked, 0, 1, 0.0, 1000.0, lambda one, end: ends.update({one.request.id: end.verdict})),
         )
     loop.run()
     connection.gone()
--- a/tests/gateway/diameter/test_golden_diameter.py
+++ b/tests/gateway/diameter/test_golden_diameter.py
@@ -34,16 +34,22 @@
     ("check", Request("r1", "read", "plain", 5, 900.0, 1.0, 2), True, 2, False),
     (
         "debit",
-        Request("r2", "write", "plain", 2**33 - 1, 900.0, 2.5, 3, key="5c0f6e1a2b3d4c59"),
+        Request("r2", "write", "plain", 2**33 - 1, 900.0, 2.5, 3, idempotency_key="5c0f6e1a2b3d4c59"),
         False,
         1,
         False,
     ),
-    ("repeat", Request("r2", "write", "plain", 5, 900.0, 2.0, 3, key="5c0f6e1a2b3d4c59"), False, 1, True),
+    (
+        "repeat",
+        Request("r2", "write", "plain", 5, 900.0, 2.0, 3, idempotency_key="5c0f6e1a2b3d4c59"),
+        False,
+        1,
+        True,
+    ),
     ("no service", Request("r3", "read", "plain", 0, 900.0, 0.4, 1), True, None, False),
     (
         "with a value",
-        Request("r4", "write", "plain", 7, 900.0, 1e6, 1, key="k", body=b"BO\0DY"),
+        Request("r4", "write", "plain", 7, 900.0, 1e6, 1, idempotency_key="k", body=b"BO\0DY"),
         False,
         3,
         False,
@@ -245,7 +251,7 @@
 
     async def record() -> None:
         async with one_gateway(diameter=True) as (app, _, _):
-            reader, writer = await connect(app.diameter_address)
+            reader, writer = await connect(app.lifecycle.diameter_address)
             writer.write(cer())
             found.append(("CEA", without_start(await whole_message(reader))))
             for name, request in (*GOOD, *faulty):
@@ -253,7 +259,7 @@
                 found.append((name, await whole_message(reader)))
             writer.close()
             for name, request in cut_off:
-                reader, writer = await connect(app.diameter_address)
+                reader, writer = await connect(app.lifecycle.diameter_address)
                 writer.write(cer())
                 await whole_message(reader)
                 writer.write(request)
--- a/tests/gateway/discovery/test_responses.py
+++ b/tests/gateway/discovery/test_responses.py
@@ -14,7 +14,7 @@
 import pytest
 
 from badgeryoke.decisions.interface import ListScope
-from badgeryoke.gateway import actor
+from badgeryoke.gateway import connecting
 from badgeryoke.gateway.discovery import client as discovery_client
 from badgeryoke.gateway.discovery.client import (
     DiscoveryClient,
@@ -227,7 +227,7 @@
 
         def dial(*given: Any) -> Any:
             dialled.append(loop.time())
-            return actor.dial(*given)
+            return connecting.dial(*given)
 
         monkeypatch.setattr(discovery_client, "dial", dial)
         with socket.create_server((HOST, 0), backlog=0) as deaf, contextlib.ExitStack() as full:
@@ -470,7 +470,7 @@
             async def scarce() -> None:
                 with monkeypatch.context() as patch:
                     patch.setattr(
-                        actor, "new_socket", lambda _: (_ for _ in ()).throw(OSError(errno.EMFILE, ""))
+                        connecting, "new_socket", lambda _: (_ for _ in ()).throw(OSError(errno.EMFILE, ""))
                     )
                     await asyncio.sleep(20.0)
 
--- a/tests/gateway/resp/test_client_connection.py
+++ b/tests/gateway/resp/test_client_connection.py
@@ -16,10 +16,11 @@
 from tornado.iostream import IOStream
 
 from badgeryoke.decisions import interface as api
-from badgeryoke.gateway.actor import ActorScheduler, WallClock
+from badgeryoke.gateway.actor import ActorScheduler
 from badgeryoke.gateway.application import GatewayApplication
 from badgeryoke.gateway.attempt import Request
 from badgeryoke.gateway.resp.client_connection import MOST_WAITING, RespClientConnection
+from badgeryoke.gateway.wall_clock import WallClock
 from tests.decisions.test_simulator_adapter import PARAMS
 from tests.support.paths import ROOT
 from tests.support.stand_ins import (
@@ -46,7 +47,7 @@
 
 
 async def ask(app: GatewayApplication, *commands: bytes) -> list[object]:
-    reader, writer = await connect(app.address)
+    reader, writer = await connect(app.lifecycle.address)
     writer.write(b"".join(commands))
     answers = [await read_reply(reader) for _ in commands]
     writer.close()
@@ -120,7 +121,7 @@
 def test_answers_come_in_the_order_of_the_commands() -> None:
     async def test() -> None:
         async with one_gateway(script=[None, None]) as (app, node, _):
-            reader, writer = await connect(app.address)
+            reader, writer = await connect(app.lifecycle.address)
             writer.write(query("held") + query("quick") + resp("PING"))
             while len(node.commands) < 2:
                 await asyncio.sleep(0)
@@ -149,12 +150,12 @@
 def test_a_client_that_leaves_ends_its_attempt() -> None:
     async def test() -> None:
         async with one_gateway(script=[None]) as (app, node, _):
-            _, writer = await connect(app.address)
+            _, writer = await connect(app.lifecycle.address)
             writer.write(query())
             await node.books.arrived.wait()
             writer.close()
             await node.ended.wait()
-            assert app.core.unanswered == 0
+            assert app.parts.dispatcher.unanswered == 0
 
     play(test)
 
@@ -179,8 +180,8 @@
 def test_malformed_input_gets_an_error_and_costs_at_most_its_connection(sent: bytes, stays: bool) -> None:
     async def test() -> None:
         async with one_gateway() as (app, _, _):
-            other_reader, other = await connect(app.address)
-            reader, writer = await connect(app.address)
+            other_reader, other = await connect(app.lifecycle.address)
+            reader, writer = await connect(app.lifecycle.address)
             writer.write(sent)
             assert str(await read_reply(reader)).startswith("-ERR")
             if stays:
@@ -227,7 +228,7 @@
 def test_nothing_new_goes_to_a_server_that_leaves() -> None:
     async def test() -> None:
         async with one_gateway(script=[None]) as (app, node, list_):
-            reader, writer = await connect(app.address)
+            reader, writer = await connect(app.lifecycle.address)
             writer.write(query("before"))
             await node.books.arrived.wait()
             while not any("after" in call for call in list_.calls):
@@ -270,7 +271,7 @@
 def test_after_sigterm_what_was_taken_is_answered_and_then_it_ends() -> None:
     async def test() -> None:
         async with one_gateway(script=[None]) as (app, node, _):
-            reader, writer = await connect(app.address)
+            reader, writer = await connect(app.lifecycle.address)
             writer.write(query())
             await node.books.arrived.wait()
             app.end()
--- a/tests/gateway/resp/test_connection_close.py
+++ b/tests/gateway/resp/test_connection_close.py
@@ -25,15 +25,16 @@
 from tornado.ioloop import IOLoop
 from tornado.iostream import IOStream
 
-from badgeryoke.gateway import application as gateway_module
-from badgeryoke.gateway.actor import ActorScheduler, WallClock
+from badgeryoke.gateway import lifecycle, parts
+from badgeryoke.gateway.actor import ActorScheduler
 from badgeryoke.gateway.application import GatewayApplication
 from badgeryoke.gateway.attempt import Request
-from badgeryoke.gateway.dispatcher import Response, Served
 from badgeryoke.gateway.graceful_shutdown import ShutdownEvent
 from badgeryoke.gateway.resp import listener as front_module
 from badgeryoke.gateway.resp.client_connection import MOST_WAITING, READ_AT_ONCE, RespClientConnection
 from badgeryoke.gateway.resp.listener import COMMAND_S, UNREAD_S, RespListener
+from badgeryoke.gateway.responses import Response, Served
+from badgeryoke.gateway.wall_clock import WallClock
 from tests.decisions.test_simulator_adapter import PARAMS
 from tests.gateway.resp.test_client_connection import ask, play
 from tests.gateway.test_service import until
@@ -59,7 +60,7 @@
 
 def client(app: GatewayApplication) -> socket.socket:
     """A connection whose bytes lie in the gateway's socket when a call returns: no turn comes between."""
-    made = socket.create_connection(app.address[:2])
+    made = socket.create_connection(app.lifecycle.address[:2])
     made.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     return made
 
@@ -81,7 +82,7 @@
     made.setblocking(False)
     assert await asyncio.get_running_loop().sock_recv(made, 100) == b"$5\r\nvalue\r\n"
     made.setblocking(True)
-    return made, list(app._front.links)[-1]
+    return made, list(app.parts.resp_listener.links)[-1]
 
 
 def read(link: RespClientConnection) -> None:
@@ -97,12 +98,12 @@
 
     async def test() -> None:
         async with one_gateway(script=[None]) as (app, node, _):
-            reader, writer = await connect(app.address)
+            reader, writer = await connect(app.lifecycle.address)
             writer.write(query())
             await node.books.arrived.wait()
             writer.write_eof()
             await node.ended.wait()
-            assert await reader.read() == b"" and app.core.unanswered == 0
+            assert await reader.read() == b"" and app.parts.dispatcher.unanswered == 0
             writer.close()
 
     play(test)
@@ -115,12 +116,17 @@
         async with one_gateway(script=[None] * 2 * MOST_WAITING) as (app, _, _):
             made = client(app)
             made.sendall(b"".join(query(f"r{n}") for n in range(MOST_WAITING)))
-            await until(lambda: app._front.links and len(list(app._front.links)[-1]._slots) == MOST_WAITING)
+            await until(
+                lambda: (
+                    app.parts.resp_listener.links
+                    and len(list(app.parts.resp_listener.links)[-1]._slots) == MOST_WAITING
+                )
+            )
             made.sendall(query("behind", "load-send", key="k", body="x" * 30_000))
-            await until(lambda: list(app._front.links)[-1]._stream._read_buffer_size)
+            await until(lambda: list(app.parts.resp_listener.links)[-1]._stream._read_buffer_size)
             made.close()
-            await asyncio.wait_for(until(lambda: not app._front.links), 10.0)
-            assert app.core.unanswered == 0
+            await asyncio.wait_for(until(lambda: not app.parts.resp_listener.links), 10.0)
+            assert app.parts.dispatcher.unanswered == 0
 
     play(test)
 
@@ -184,9 +190,9 @@
             made = client(app)
             made.sendall(b"".join(query(f"r{n:06}") for n in range(400)))
             made.close()
-            await until(lambda: app._front.links)
-            await until(lambda: not app._front.links)
-            assert sizes == [] and app.core.unanswered == 0
+            await until(lambda: app.parts.resp_listener.links)
+            await until(lambda: not app.parts.resp_listener.links)
+            assert sizes == [] and app.parts.dispatcher.unanswered == 0
             assert await ask(app, resp("PING") * 2000) == ["+PONG"]  # while it asks on
             assert max(sizes) == READ_AT_ONCE
 
@@ -234,7 +240,7 @@
                 given.append(answer)
                 return lambda: None
 
-            monkeypatch.setattr(app.core, "submit", submit)
+            monkeypatch.setattr(app.parts.dispatcher, "submit", submit)
             made = client(app)
             made.sendall(b"".join(query(f"r{n}") for n in range(12)))
             await until(lambda: len(given) == 12)
@@ -259,7 +265,7 @@
                 seen = weakref.ref(link)
                 del link
                 made.close()
-                await until(lambda: not app._front.links)
+                await until(lambda: not app.parts.resp_listener.links)
                 await until(lambda: seen() is None)
             finally:
                 gc.enable()
@@ -389,12 +395,12 @@
             read(link)
             match end:
                 case "sweep":
-                    app._front.sweep()
+                    app.parts.resp_listener.sweep()
                 case "make room":
-                    assert not app._front._make_room(0.0)
+                    assert not app.parts.resp_listener._make_room(0.0)
                 case "end":
                     link.end()
-                    app._loop.run()
+                    app.parts.loop.run()
             monkeypatch.setattr(front_module, "IDLE_S", 20.0)
             made.setblocking(False)
             assert await asyncio.get_running_loop().sock_recv(made, 100) == b"$5\r\nvalue\r\n"
@@ -411,9 +417,9 @@
         async with one_gateway(script=[value, None]) as (app, node, _):
             made = socket.socket()
             made.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-            made.connect(app.address)
-            await until(lambda: app._front.links)
-            [link] = app._front.links
+            made.connect(app.lifecycle.address)
+            await until(lambda: app.parts.resp_listener.links)
+            [link] = app.parts.resp_listener.links
             link._stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
             made.sendall(query("first"))
             await until(lambda: link._stream.writing())
@@ -441,7 +447,7 @@
         async with one_gateway() as (app, node, _):
             made, link = await linked(app)
             link.end()
-            app._loop.run()
+            app.parts.loop.run()
             assert link._finished
             made.sendall(query("crossing"))
             assert await answers(made) == b"" and len(node.commands) == 1
@@ -466,11 +472,11 @@
 
 def test_who_finds_no_place_is_told_so(monkeypatch: pytest.MonkeyPatch) -> None:
     """Its connection was closed over the query that it had written."""
-    monkeypatch.setattr(gateway_module, "CLIENT_PART", 1 / 1024)
+    monkeypatch.setattr(parts, "RESP_CLIENTS_FRACTION", 1 / 1024)
 
     async def test() -> None:
         async with one_gateway(script=[None]) as (app, node, _):
-            reader, writer = await connect(app.address)
+            reader, writer = await connect(app.lifecycle.address)
             writer.write(query("open"))
             await node.books.arrived.wait()
             for n in range(3):
@@ -500,8 +506,8 @@
             waiting = [client(app) for _ in range(3)]
             for n, made in enumerate(waiting):
                 made.sendall(query(f"r{n}"))
-            app._drained(ShutdownEvent.TERM)
-            app._drained(ShutdownEvent.TURNED)
+            app.lifecycle.post(ShutdownEvent.TERMINATE)
+            app.lifecycle.post(ShutdownEvent.NOTICE_ELAPSED)
             await node.books.arrived.wait()
             assert not app.done.is_set()
             await until(lambda: len(node.commands) == 3)
@@ -514,7 +520,7 @@
     play(test)
 
 
-@pytest.mark.parametrize("before", [ShutdownEvent.TERM, ShutdownEvent.SUCCEEDED])
+@pytest.mark.parametrize("before", [ShutdownEvent.TERMINATE, ShutdownEvent.SUCCESSOR_READY])
 def test_the_time_for_the_last_answers_counts_from_sigterm(
     before: ShutdownEvent, monkeypatch: pytest.MonkeyPatch
 ) -> None:
@@ -523,20 +529,22 @@
     async def test() -> None:
         async with one_gateway() as (app, _, _):
             later: list[tuple[float, Any]] = []
-            monkeypatch.setattr(app._loop, "call_later", lambda wait, call, *_: later.append((wait, call)))
-            monkeypatch.setattr(app._loop, "time", lambda: 100.0)
-            app._config = replace(app._config, drain_s=0.45)
-            if before is ShutdownEvent.SUCCEEDED:
-                app._drained(ShutdownEvent.SUCCEEDED)
+            monkeypatch.setattr(
+                app.parts.loop, "call_later", lambda wait, call, *_: later.append((wait, call))
+            )
+            monkeypatch.setattr(app.parts.loop, "time", lambda: 100.0)
+            app.parts.config = replace(app.parts.config, drain_s=0.45)
+            if before is ShutdownEvent.SUCCESSOR_READY:
+                app.lifecycle.post(ShutdownEvent.SUCCESSOR_READY)
             app.end()
-            monkeypatch.setattr(app._loop, "time", lambda: 100.25)
+            monkeypatch.setattr(app.parts.loop, "time", lambda: 100.25)
             app.end()
-            app._drained(ShutdownEvent.TURNED)
-            [wait] = [wait for wait, call in later if call == app._wait_no_longer]
+            app.lifecycle.post(ShutdownEvent.NOTICE_ELAPSED)
+            [wait] = [wait for wait, call in later if call == app.lifecycle._answer_all_now]
             monkeypatch.undo()
-            app._drained(ShutdownEvent.SETTLED)
-            waited = 0.25 if before is ShutdownEvent.TERM else 0.0
-            assert wait == pytest.approx(gateway_module.KILL_COUNTS_S + gateway_module.KILL_MARGIN_S - waited)
+            app.lifecycle.post(ShutdownEvent.USAGE_REPORTED)
+            waited = 0.25 if before is ShutdownEvent.TERMINATE else 0.0
+            assert wait == pytest.approx(lifecycle.MAX_COUNTED_DEADLINE_S + lifecycle.KILL_MARGIN_S - waited)
 
     play(test)
 
@@ -547,11 +555,11 @@
             made = client(app)
             made.sendall(query("held"))
             await node.books.arrived.wait()
-            [link] = app._front.links
-            app._front.refuse_rest()
+            [link] = app.parts.resp_listener.links
+            app.parts.resp_listener.refuse_rest()
             made.sendall(query("late"))
             await until(lambda: len(link._slots) == 2)
-            app._wait_no_longer()
+            app.lifecycle._answer_all_now()
             assert await answers(made) == b"-BUSY 100\r\n-BUSY 1\r\n"
             assert len(node.commands) == 1
 
@@ -568,7 +576,7 @@
             counter.held.clear()
             made = config(list_.port, counter.port, roster(entry("a", node.port)), counter_timeout_ms=50.0)
             async with gateway(made, WallClock(time.monotonic, time.time)) as app:
-                reader, writer = await connect(app.address)
+                reader, writer = await connect(app.lifecycle.address)
                 writer.write(query())
                 await node.books.arrived.wait()
                 app.end()
@@ -604,7 +612,7 @@
             if inherited:
                 made = replace(made, socket_fd=listening.fileno(), folder=str(tmp_path))
             async with gateway(made) as app:
-                await until(lambda: app._listening and list_.calls)
+                await until(lambda: app.lifecycle.listening and list_.calls)
                 one, link = await linked(app)
                 peers = {used.getpeername()[1] for used in dialled}
                 assert peers == {node.port, counter.port, list_.port}
@@ -640,7 +648,7 @@
             listening.bind((HOST, 0))
             listening.listen(8)
             listening.setblocking(False)
-            app._front.add_sockets([listening])
+            app.parts.resp_listener.add_sockets([listening])
             made = socket.create_connection(listening.getsockname())
             made.sendall(query())
             await until(lambda: listening.asked)
--- a/tests/gateway/resp/test_golden_resp.py
+++ b/tests/gateway/resp/test_golden_resp.py
@@ -9,11 +9,11 @@
 from badgeryoke.decisions import interface as api
 from badgeryoke.gateway.actor import ActorScheduler
 from badgeryoke.gateway.attempt import Attempt, AttemptEnd, Request
-from badgeryoke.gateway.dispatcher import Failed, Rejected, Response, Served, Streaming
 from badgeryoke.gateway.quota_counter import client
 from badgeryoke.gateway.resp import client_connection, upstream_connection
 from badgeryoke.gateway.resp.codec import ErrorReply, RespParser, Status, Value
-from badgeryoke.gateway.response_stream import WINDOW, BufferBudget, ResponseStream
+from badgeryoke.gateway.response_stream import MAX_WINDOW_BYTES, BufferBudget, ResponseStream
+from badgeryoke.gateway.responses import Failed, Rejected, Response, Served, Streaming
 from tests.gateway.resp.test_client_connection import play
 from tests.gateway.test_service import until
 from tests.support.canonical import canonical
@@ -45,7 +45,7 @@
     ("refused, may have run", Rejected(1e6, True)),
     ("failed", Failed("may have run")),
     ("failed, line end in the detail", Failed("a\r\nb")),
-    ("a long value's head", Streaming(ResponseStream(100_000, BufferBudget(WINDOW)))),
+    ("a long value's head", Streaming(ResponseStream(100_000, BufferBudget(MAX_WINDOW_BYTES)))),
 )
 GOOD_LIST = "c=balance-check,t=dealer,d=60000,units=1,spread=2,first=0"
 CUSTOMER = f"{5:016x}"
@@ -135,11 +135,11 @@
     async def record() -> None:
         async with one_gateway() as (app, _, _):
             for name, command in COMMANDS:
-                reader, writer = await connect(app.address)
+                reader, writer = await connect(app.lifecycle.address)
                 writer.write(command)
                 answers.append((name, await whole_answer(reader)))
                 writer.close()
-            reader, writer = await connect(app.address)
+            reader, writer = await connect(app.lifecycle.address)
             writer.write(resp("GET") * 5)
             answers.append(("many faults, to the connection's end", await reader.read()))
             writer.close()
@@ -154,16 +154,16 @@
 
     async def record() -> None:
         async with one_gateway(script=[b"-ERR failed\r\n"] * 9) as (app, _, _):
-            reader, writer = await connect(app.address)
+            reader, writer = await connect(app.lifecycle.address)
             writer.write(query("r1"))
             answers.append(("server failed", await whole_answer(reader)))
             writer.close()
         async with one_gateway(script=[None]) as (app, node, _):
-            reader, writer = await connect(app.address)
+            reader, writer = await connect(app.lifecycle.address)
             writer.write(query("r1"))
             await until(lambda: node.commands)
             writer.write(query("r1"))
-            other, second = await connect(app.address)
+            other, second = await connect(app.lifecycle.address)
             second.write(query("r1"))
             answers.append(("id of an open request", await whole_answer(other)))
             second.close()
@@ -187,7 +187,7 @@
     ("safe", Request("r1", "read", "plain", 5, 900.0, 1.0, 2), True, 899.2),
     (
         "keyed",
-        Request("r2", "write", "plain", 2**33 - 1, 900.0, 2.5, 3, 1, key="5c0f6e1a2b3d4c59"),
+        Request("r2", "write", "plain", 2**33 - 1, 900.0, 2.5, 3, 1, idempotency_key="5c0f6e1a2b3d4c59"),
         False,
         0.3,
     ),
@@ -260,10 +260,10 @@
                 lambda _, end: ends.append(end),
                 on_written=out.set,
             )
-            execution.query.safe = False
+            execution.request.idempotent = False
             link.start(execution)
             await out.wait()
-            execution.abandon(api.Verdict.CANCELLED, final=True)
+            execution.abort(api.Verdict.CANCELLED, final=True)
             await node.ended.wait()
             written.extend(("cancelled", data) for data in node.received)
 
--- a/tests/gateway/resp/test_retries.py
+++ b/tests/gateway/resp/test_retries.py
@@ -21,12 +21,14 @@
 from badgeryoke.decisions import interface as api
 from badgeryoke.decisions.interface import Verdict
 from badgeryoke.decisions.policy.engine import DecisionEngine
-from badgeryoke.gateway import actor
-from badgeryoke.gateway.actor import ActorScheduler, new_socket
+from badgeryoke.gateway import connecting
+from badgeryoke.gateway.actor import ActorScheduler
 from badgeryoke.gateway.attempt import Attempt, AttemptEnd, Request
-from badgeryoke.gateway.dispatcher import Dispatcher, Response
+from badgeryoke.gateway.connecting import new_socket
+from badgeryoke.gateway.dispatcher import Dispatcher
 from badgeryoke.gateway.resp import upstream_connection
 from badgeryoke.gateway.resp.upstream_connection import BEGUN_MS, RespUpstream
+from badgeryoke.gateway.responses import Response
 from tests.gateway.resp.test_client_connection import ask, play
 from tests.gateway.test_dispatcher import KEYED, UNSAFE, NoCounter
 from tests.gateway.test_service import until
@@ -59,14 +61,14 @@
         self.taken: list[socket.socket] = []
 
     def start(self, rid: str, body: bytes | None = None, write_by_ms: float = float("inf")) -> Attempt:
-        asked = Request(rid, "once", "plain", 7, 60_000.0, 1.0, 2, safe=False, body=body)
+        asked = Request(rid, "once", "plain", 7, 60_000.0, 1.0, 2, idempotent=False, body=body)
         one = Attempt(asked, 0, 1, self.now, self.now + 60_000.0, self._ended, write_by_ms=write_by_ms)
         self.link.start(one)
         self.loop.run()
         return one
 
     def _ended(self, execution: Attempt, end: AttemptEnd) -> None:
-        self.ends.append((execution.query.id, end.verdict, end.value))
+        self.ends.append((execution.request.id, end.verdict, end.value))
 
     async def accept(self) -> socket.socket:
         made, _ = await asyncio.get_running_loop().sock_accept(self.listener)
@@ -99,7 +101,7 @@
         """An attempt that is out in part."""
         one = self.start("long", LONG, **more)
         made = await self.accept()
-        await until(lambda: one.begun)
+        await until(lambda: one.write_started)
         assert next(iter(self.link._all)).stream.writing()
         return one, made
 
@@ -125,7 +127,7 @@
         made.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2048)
         return made
 
-    monkeypatch.setattr(actor, "new_socket", make)
+    monkeypatch.setattr(connecting, "new_socket", make)
 
 
 async def read(made: socket.socket, until_: bytes) -> bytes:
@@ -229,7 +231,7 @@
     async def test() -> None:
         async with node() as at:
             one, made = await at.stuck()
-            one.abandon(Verdict.CANCELLED, final=True)
+            one.abort(Verdict.CANCELLED, final=True)
             at.loop.run()
             assert len(await read(made, LONG[-1000:] + b"\r\n")) < len(LONG)
 
@@ -240,12 +242,12 @@
 def test_a_query_that_waits_is_not_sent_on_once_its_client_has_left(where: str) -> None:
     async def counted() -> None:
         async with Counter() as counter, one_gateway(counter=counter.port) as (app, backend, _):
-            _, writer = await connect(app.address)
+            _, writer = await connect(app.lifecycle.address)
             counter.held.clear()
             writer.write(query("r1"))
             await until(lambda: counter.units)
             writer.transport.abort()
-            await until(lambda: not app.core.unanswered and not app._front.links)
+            await until(lambda: not app.parts.dispatcher.unanswered and not app.parts.resp_listener.links)
             counter.held.set()
             assert await ask(app, query("r2")) == [b"value"]
             assert [command[2] for command in backend.commands] == [b"r2"]
@@ -262,7 +264,7 @@
             at.link.opened = opened  # type: ignore[method-assign]
             one = at.start("r1")
             made = await at.accept()
-            one.abandon(Verdict.CANCELLED, final=True)
+            one.abort(Verdict.CANCELLED, final=True)
             up.set()
             await until(lambda: at.link._idle)
             at.start("r2")
@@ -271,10 +273,10 @@
     async def mailbox() -> None:
         async with node() as at:
             made = await at.idle()
-            asked = Request("r1", "once", "plain", 7, 60_000.0, 1.0, 2, safe=False)
+            asked = Request("r1", "once", "plain", 7, 60_000.0, 1.0, 2, idempotent=False)
             one = Attempt(asked, 0, 1, at.now, at.now + 60_000.0, at._ended)
             at.link.start(one)
-            one.abandon(Verdict.CANCELLED, final=True)
+            one.abort(Verdict.CANCELLED, final=True)
             at.start("r2")
             assert b"r1" not in await read(made, b"r2")
 
@@ -303,7 +305,7 @@
     async def test() -> None:
         async with node() as at:
             one = Attempt(
-                Request("r1", "once", "plain", 7, 60_000.0, 1.0, 2, safe=False),
+                Request("r1", "once", "plain", 7, 60_000.0, 1.0, 2, idempotent=False),
                 0,
                 1,
                 at.now,
@@ -311,15 +313,15 @@
                 at._ended,
             )
             at.link.start(one)
-            one.abandon(Verdict.CANCELLED, final=True)
+            one.abort(Verdict.CANCELLED, final=True)
             at.loop.run()
             assert not at.link._all and not at.link._waiting
             await at.idle()
             used_at = at.link._idle[0].used_at
             at.now += 1000.0
-            one = Attempt(one.query, 1, 1, at.now, at.now + 60_000.0, at._ended)
+            one = Attempt(one.request, 1, 1, at.now, at.now + 60_000.0, at._ended)
             at.link.start(one)
-            one.abandon(Verdict.CANCELLED, final=True)
+            one.abort(Verdict.CANCELLED, final=True)
             at.loop.run()
             assert at.link._idle[0].used_at == used_at
 
@@ -432,7 +434,7 @@
     async def test() -> None:
         async with node() as at:
             with monkeypatch.context() as full:
-                full.setattr(actor, "new_socket", none)
+                full.setattr(connecting, "new_socket", none)
                 at.start("r1")
                 assert [end[1] for end in at.ends] == [Verdict.CONNECT_FAILED] and not at.link._all
             at.start("r2")
@@ -509,7 +511,9 @@
             NoCounter(),
         )
         answers: list[Response] = []
-        made.submit(Request("r1", "load-send", "free", 5, 2000.0, 1.0, 1, key="k"), answers.append)
+        made.submit(
+            Request("r1", "load-send", "free", 5, 2000.0, 1.0, 1, idempotency_key="k"), answers.append
+        )
         first.loop.run()
         yield made, first, second, answers
 
@@ -559,7 +563,7 @@
         async with node() as made:
             made.listener.close()
             dials: list[object] = []
-            dial = actor.dial
+            dial = connecting.dial
 
             def counted(*args: Any) -> Any:
                 dials.append(args)
--- a/tests/gateway/test_connecting.py
+++ b/tests/gateway/test_connecting.py
@@ -11,8 +11,9 @@
 from tornado.iostream import StreamClosedError
 
 from badgeryoke.decisions.interface import CounterReply, Verdict
-from badgeryoke.gateway.actor import ActorScheduler, dial, on_close
+from badgeryoke.gateway.actor import ActorScheduler
 from badgeryoke.gateway.attempt import Attempt, AttemptEnd, AttemptStage, Request
+from badgeryoke.gateway.connecting import dial, on_close
 from badgeryoke.gateway.quota_counter.client import QuotaCounterClient
 from badgeryoke.gateway.resp.upstream_connection import RespUpstream
 from tests.gateway.resp.test_client_connection import play
@@ -39,10 +40,10 @@
         link = RespUpstream(
             (HOST, silent), loop, lambda: NOW_MS, report_names=(), connect_ms=60.0, idle_ms=1000.0, most=4
         )
-        asked = Request("a1", "read", "plain", 7, 4000.0, 1.0, 2, safe=True)
+        asked = Request("a1", "read", "plain", 7, 4000.0, 1.0, 2, idempotent=True)
         link.start(Attempt(asked, 0, 1, NOW_MS, NOW_MS + 4000.0, lambda _, end: ends.put_nowait(end)))
         end = await asyncio.wait_for(ends.get(), 5)  # without this a fault would only show as a hang
-        assert (end.verdict, end.reached) == (Verdict.CONNECT_FAILED, AttemptStage.NOT_WRITTEN)
+        assert (end.verdict, end.stage) == (Verdict.CONNECT_FAILED, AttemptStage.NOT_WRITTEN)
 
     play(test)
 
--- a/tests/gateway/test_dispatcher.py
+++ b/tests/gateway/test_dispatcher.py
@@ -12,10 +12,12 @@
 
 from badgeryoke.decisions import interface as api
 from badgeryoke.decisions.policy.engine import DecisionEngine
-from badgeryoke.gateway.actor import Actor, ActorScheduler, WallClock
-from badgeryoke.gateway.application import GatewayApplication
+from badgeryoke.gateway.actor import Actor, ActorScheduler
 from badgeryoke.gateway.attempt import Attempt, AttemptStage, Request
-from badgeryoke.gateway.dispatcher import Dispatcher, Failed, Rejected, Response, Served
+from badgeryoke.gateway.dispatcher import Dispatcher
+from badgeryoke.gateway.lifecycle import Lifecycle
+from badgeryoke.gateway.responses import Failed, Rejected, Response, Served
+from badgeryoke.gateway.wall_clock import WallClock
 from tests.support import samples
 from tests.support.stand_ins import NOW_MS, settings
 
@@ -90,7 +92,7 @@
         self.core = Dispatcher(
             made, 1, ActorScheduler(self.loop), self.loop.clock, lambda _: self.link, NoCounter()
         )
-        self.core.members(
+        self.core.update_endpoints(
             api.EndpointList(api.ListScope.FULL, (api.Server(1, "a", "std", 0, api.EndpointState.UP),))
         )
         self.answers: list[Response] = []
@@ -123,8 +125,8 @@
     bench = Bench()
     bench.ask()
     bench.last.written()
-    bench.last.served(b"value", 3.0)
-    bench.last.served(b"again")
+    bench.last.succeeded(b"value", 3.0)
+    bench.last.succeeded(b"again")
     bench.loop.run(3.0)
     assert bench.answers == [Served(b"value", 3.0)] and not bench.core.unanswered
 
@@ -150,13 +152,12 @@
     if written:
         bench.last.written()
     bench.loop.run(1.0)
-    gateway = SimpleNamespace(
-        core=bench.core,
+    lifecycle = SimpleNamespace(
+        _parts=SimpleNamespace(dispatcher=bench.core, loop=bench.loop),
         done=SimpleNamespace(is_set=lambda: False),
-        _loop=bench.loop,
-        _drained=lambda event: None,
+        post=lambda event: None,
     )
-    GatewayApplication._wait_no_longer(gateway)  # type: ignore[arg-type]
+    Lifecycle._answer_all_now(lifecycle)  # type: ignore[arg-type]
     bench.loop.run(0.01)
     assert [type(answer) for answer in bench.answers] == [kind] and not bench.core.unanswered
 
@@ -186,9 +187,9 @@
     bench.ask()
     if bench.link.executions:
         bench.last.written()
-        bench.last.error("ERR failed")
+        bench.last.failed("ERR failed")
     bench.loop.run(3.0)
-    assert len(bench.answers) == 1 and (bench.core.faults > 0 or event is api.ClientDisconnected)
+    assert len(bench.answers) == 1 and (bench.core.decision_faults > 0 or event is api.ClientDisconnected)
 
 
 def test_a_module_that_decides_nothing_is_answered_for(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -228,7 +229,7 @@
     left = bench.ask()
     bench.last.written()
     released: list[bool] = []
-    bench.last.on_abandon = lambda: released.append(True)
+    bench.last.on_abort = lambda: released.append(True)
     left()
     bench.loop.run(3.0)
     assert bench.answers == [] and released == [True] and bench.last.final
@@ -236,26 +237,26 @@
 
 def test_a_refusal_after_an_attempt_that_may_have_run_says_so() -> None:
     bench = Bench(max_attempts=1)
-    bench.ask("load-send", key="k")
+    bench.ask("load-send", idempotency_key="k")
     bench.last.written()
-    bench.last.lost("reset")
+    bench.last.connection_lost("reset")
     bench.loop.run()
     assert isinstance(bench.answers[0], Rejected) and bench.answers[0].may_have_run
 
 
 def test_a_repeat_is_not_sent_after_its_window() -> None:
     bench = Bench()
-    bench.ask("load-send", key="k", send_by_ms=NOW_MS)
+    bench.ask("load-send", idempotency_key="k", send_by_ms=NOW_MS)
     assert not bench.link.executions and len(bench.answers) == 1
 
 
 def test_a_repeat_whose_connection_comes_up_after_the_window_is_not_written() -> None:
     """The window was looked at before the connection was made, which may take as long as it."""
     bench = Bench()
-    bench.ask("load-send", key="k")
+    bench.ask("load-send", idempotency_key="k")
     assert bench.last.may_be_written(bench.loop.clock() + 1500.0)  # nothing may have run: no window yet
     bench.last.written()
-    bench.last.lost("reset")
+    bench.last.connection_lost("reset")
     bench.loop.run(0.1)
     assert len(bench.link.executions) == 2 and bench.last.may_be_written(NOW_MS + 900.0)
     assert not bench.last.may_be_written(NOW_MS + 1000.0)
@@ -280,14 +281,14 @@
     one = bench.last
     one.written()
     steps: dict[str, Callable[[], object]] = {
-        "answer": lambda: one.served(b"value"),
-        "cancel": lambda: bench.core.post(bench.core._act, 0.0, api.CancelAttempt("1", 0)),
-        "deadline": lambda: bench.core.post(bench.core._overdue, bench.core._running["1"]),
+        "answer": lambda: one.succeeded(b"value"),
+        "cancel": lambda: bench.core.post(bench.core._execute, 0.0, api.CancelAttempt("1", 0)),
+        "deadline": lambda: bench.core.post(bench.core._deadline_expired, bench.core._pending["1"]),
         "client leaves": left,
     }
     steps[first]()
     if first != "answer":
-        bench.core.post(lambda: one.served(b"value"))
+        bench.core.post(lambda: one.succeeded(b"value"))
     else:
         for other in ("cancel", "deadline", "client leaves"):
             steps[other]()
@@ -297,7 +298,7 @@
     assert [type(got) for got in bench.answers] == {"answer": [Served], "client leaves": []}.get(
         first, [Failed]
     )
-    assert not bench.core._running and len(bench.link.executions) == 1
+    assert not bench.core._pending and len(bench.link.executions) == 1
 
 
 @pytest.mark.parametrize("waits", [False, True])
@@ -312,25 +313,25 @@
         return True
 
     if waits:  # for its contract's turn
-        bench.core._guarantee = SimpleNamespace(draw=lambda run: False, waits=wait)  # type: ignore[assignment]
+        bench.core._reserved_admission = SimpleNamespace(reserve=lambda run: False, enqueue=wait)  # type: ignore[assignment]
         bench.ask("once")
     safe = replace(UNSAFE, idempotency=api.Idempotency.IDEMPOTENT)
-    bench.core.retune(settings(has_counter=False, classes=(AIM, KEYED, safe)))
+    bench.core.update_settings(settings(has_counter=False, classes=(AIM, KEYED, safe)))
     if waits:
-        bench.core.post(bench.core._turn, turn[0])
+        bench.core.post(bench.core._reservation_wait_ended, turn[0])
         bench.loop.run()
     else:
         bench.ask("once")
     for execution in bench.link.executions:
         execution.written()
-        execution.lost("reset")
+        execution.connection_lost("reset")
     bench.loop.run()
     assert not bench.link.executions and [type(answer) for answer in bench.answers] == [Rejected]
 
 
 def test_the_last_word_on_a_full_core() -> None:
     bench = Bench()
-    bench.core._running.update({str(-n): None for n in range(1, 10_001)})  # type: ignore[misc]
+    bench.core._pending.update({str(-n): None for n in range(1, 10_001)})  # type: ignore[misc]
     bench.ask()
     assert isinstance(bench.answers[0], Rejected) and not bench.link.executions
 
@@ -345,14 +346,14 @@
 @pytest.mark.parametrize(
     ("stage", "method", "verdict"),
     [
-        (AttemptStage.NOT_WRITTEN, "lost", api.Verdict.CONNECT_FAILED),
-        (AttemptStage.WRITTEN, "lost", api.Verdict.RESET),
-        (AttemptStage.NOT_WRITTEN, "turned_away", api.Verdict.QUEUE_FULL),
-        (AttemptStage.WRITTEN, "error", api.Verdict.ERROR),
-        (AttemptStage.WRITTEN, "abandon", api.Verdict.TIMEOUT),
-        (AttemptStage.NOT_WRITTEN, "abandon", api.Verdict.CONNECT_FAILED),
-        ("begun", "abandon", api.Verdict.TIMEOUT),  # the rest may go out before the link hears of it
-        ("begun", "lost", api.Verdict.CONNECT_FAILED),
+        (AttemptStage.NOT_WRITTEN, "connection_lost", api.Verdict.CONNECT_FAILED),
+        (AttemptStage.WRITTEN, "connection_lost", api.Verdict.RESET),
+        (AttemptStage.NOT_WRITTEN, "rejected", api.Verdict.QUEUE_FULL),
+        (AttemptStage.WRITTEN, "failed", api.Verdict.ERROR),
+        (AttemptStage.WRITTEN, "abort", api.Verdict.TIMEOUT),
+        (AttemptStage.NOT_WRITTEN, "abort", api.Verdict.CONNECT_FAILED),
+        ("begun", "abort", api.Verdict.TIMEOUT),  # the rest may go out before the link hears of it
+        ("begun", "connection_lost", api.Verdict.CONNECT_FAILED),
     ],
 )
 def test_an_end_carries_how_far_the_attempt_had_come(stage: Any, method: str, verdict: api.Verdict) -> None:
@@ -360,11 +361,11 @@
     one = Attempt(Request("r", "c", "p", 1, 1.0, 1.0, 1), 0, 1, 0.0, 1.0, lambda _, end: ends.append(end))
     if stage is AttemptStage.WRITTEN:
         one.written()
-    one.begun = stage != AttemptStage.NOT_WRITTEN
-    getattr(one, method)(api.Verdict.TIMEOUT if method == "abandon" else "why")
-    one.lost("a second end does not count")
+    one.write_started = stage != AttemptStage.NOT_WRITTEN
+    getattr(one, method)(api.Verdict.TIMEOUT if method == "abort" else "why")
+    one.connection_lost("a second end does not count")
     reached = AttemptStage.NOT_WRITTEN if stage == "begun" else stage
-    assert [(end.verdict, end.reached) for end in ends] == [(verdict, reached)]
+    assert [(end.verdict, end.stage) for end in ends] == [(verdict, reached)]
 
 
 def test_a_message_that_fails_costs_none_behind_it() -> None:
@@ -393,18 +394,18 @@
 def test_a_gateway_without_time_refuses_unseen_and_takes_up_again() -> None:
     """Where the event loop ran late all was decided on, and answered too late."""
     bench = Bench()
-    bench.core.lagged(300.0)  # one stall is no overload: an aim is 400 ms
+    bench.core.record_loop_lag(300.0)  # one stall is no overload: an aim is 400 ms
     bench.ask()
     assert len(bench.link.executions) == 1
     for _ in range(30):
-        bench.core.lagged(300.0)
+        bench.core.record_loop_lag(300.0)
     for _ in range(100):
         bench.ask()
     refused = [answer for answer in bench.answers if isinstance(answer, Rejected)]
     assert len(refused) >= 80 and all(answer.retry_after_ms > 0 for answer in refused)
     for _ in range(50):
-        bench.core.lagged(0.0)
+        bench.core.record_loop_lag(0.0)
     before = len(bench.link.executions)
-    bench.last.served(b"value")
+    bench.last.succeeded(b"value")
     bench.ask()
     assert len(bench.link.executions) == before + 1
--- a/tests/gateway/test_faults_by_stage.py
+++ b/tests/gateway/test_faults_by_stage.py
@@ -17,7 +17,7 @@
 
 from badgeryoke.decisions import interface as api
 from badgeryoke.decisions.policy.engine import DecisionEngine
-from badgeryoke.gateway import actor
+from badgeryoke.gateway import connecting
 from badgeryoke.gateway.application import GatewayApplication
 from tests.gateway.resp.test_client_connection import play
 from tests.gateway.test_service import until
@@ -99,10 +99,10 @@
 
     @property
     def module(self) -> DecisionEngine:
-        return cast(DecisionEngine, self.app.core._module)
+        return cast(DecisionEngine, self.app.parts.dispatcher._module)
 
     async def ask(self, rid: str, units: int = 1, **more: Any) -> Any:
-        reader, writer = await connect(self.app.address)
+        reader, writer = await connect(self.app.lifecycle.address)
         writer.write(query(rid, units=units, plan="small", **more))
         answer = await read_reply(reader)
         writer.close()
@@ -110,7 +110,7 @@
 
     async def begin(self, body: str | None = None) -> None:
         """The query of this cell is written to the gateway's socket."""
-        self.reader, self.writer = await connect(self.app.address)
+        self.reader, self.writer = await connect(self.app.lifecycle.address)
         sent = query("cell", "once", 2, plan="small", key="k", body=body)
         self.writer.write(sent)
         self.listening = asyncio.ensure_future(self._listen())
@@ -122,19 +122,19 @@
 
     def crash(self) -> None:
         """The process dies: every socket it had is closed, and nothing that it knew is left."""
-        self.app._front.stop()
-        for link in list(self.app._front.links):
+        self.app.parts.resp_listener.stop()
+        for link in list(self.app.parts.resp_listener.links):
             link._stream.close()
-        for _, server in self.app._links.values():
+        for _, server in self.app.parts.upstreams.by_number.values():
             for connection in list(server._all):  # type: ignore[union-attr]
                 connection.stream.close()
-        counter = self.app._counter
+        counter = self.app.parts.counter
         assert counter is not None
         counter._closing = True
         for one in list(counter._all):
             one.stream.close()
-        self.app._hosts.stop()
-        self.app.core._module = cast(Any, type("Dead", (), {"handle": lambda *_: []})())
+        self.app.parts.discovery.stop()
+        self.app.parts.dispatcher._module = cast(Any, type("Dead", (), {"handle": lambda *_: []})())
 
 
 @contextlib.asynccontextmanager
@@ -146,7 +146,7 @@
         Discovery(entry("a", node.port)) as list_,
     ):
         made = World(node, counter, moved, list_)
-        await until(lambda: made.app._counter and made.app._counter._used and len(list_.calls) >= 2)
+        await until(lambda: made.app.parts.counter and made.app.parts.counter._used and len(list_.calls) >= 2)
         try:
             yield made
         finally:
@@ -170,7 +170,7 @@
 
 async def not_yet_written(at: World) -> None:
     """The connection to the server does not come up."""
-    link = at.app._links[1][1]
+    link = at.app.parts.upstreams.by_number[1][1]
     link._open = lambda: None  # type: ignore[method-assign, union-attr]
     await at.begin()
     await until(lambda: link._waiting)
@@ -180,7 +180,7 @@
     at.node.reading.clear()
     at.node.server.sockets[0].setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
     await at.begin(BODY)
-    link = at.app._links[1][1]
+    link = at.app.parts.upstreams.by_number[1][1]
     await until(lambda: any(one.execution for one in link._all))  # type: ignore[union-attr]
     assert next(iter(link._all)).stream.writing()  # type: ignore[union-attr]
 
@@ -194,7 +194,7 @@
     await written_whole(at)
     at.node.writers[0].write(at.node.rest[:10])
     at.node.rest = at.node.rest[10:]
-    link = at.app._links[1][1]
+    link = at.app.parts.upstreams.by_number[1][1]
     await until(lambda: any(one.begun for one in link._all))  # type: ignore[union-attr]
 
 
@@ -217,14 +217,14 @@
 async def report_out(at: World) -> None:
     await units_gathered(at)
     at.counter.held.clear()
-    at.app.core.settle()
+    at.app.parts.dispatcher.flush_timers()
     await until(lambda: at.counter.units == 3)
 
 
 async def report_answered(at: World) -> None:
     await units_gathered(at)
-    at.app.core.settle()
-    await until(lambda: at.counter.units == 3 and at.app._counter and not at.app._counter.busy)
+    at.app.parts.dispatcher.flush_timers()
+    await until(lambda: at.counter.units == 3 and at.app.parts.counter and not at.app.parts.counter.busy)
 
 
 # Faults -----------------------------------------------------------------------------------------------
@@ -232,7 +232,7 @@
 
 async def client_leaves(at: World) -> None:
     at.writer.transport.abort()
-    await until(lambda: not at.app.core.unanswered and not at.app._front.links)
+    await until(lambda: not at.app.parts.dispatcher.unanswered and not at.app.parts.resp_listener.links)
 
 
 async def server_resets(at: World) -> None:
@@ -267,7 +267,7 @@
     at.crash()
     await asyncio.sleep(0)
     at.app = at.start()
-    await until(lambda: at.app._counter and at.app._counter._used and at.app._hosts.ready)
+    await until(lambda: at.app.parts.counter and at.app.parts.counter._used and at.app.parts.discovery.ready)
 
 
 STAGES = [
@@ -303,14 +303,14 @@
 @pytest.mark.parametrize("fault", FAULTS, ids=lambda one: one.__name__)
 @pytest.mark.parametrize("stage", STAGES, ids=lambda one: one.__name__)
 def test_whatever_fails_the_rules_hold(stage: Any, fault: Any, monkeypatch: pytest.MonkeyPatch) -> None:
-    real = actor.new_socket
+    real = connecting.new_socket
 
     def small(address: tuple[str, int]) -> socket.socket:
         made: socket.socket = real(address)
         made.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2048)
         return made
 
-    monkeypatch.setattr(actor, "new_socket", small)
+    monkeypatch.setattr(connecting, "new_socket", small)
 
     async def test() -> None:
         async with world() as at:
@@ -320,7 +320,7 @@
             for event in (at.counter.held, at.node.reading, at.node.answers):
                 event.set()
             if stage is not_yet_written:
-                link = at.app._links[1][1]
+                link = at.app.parts.upstreams.by_number[1][1]
                 vars(link).pop("_open", None)
                 link.post(link._open)  # type: ignore[union-attr]
             if fault not in (client_leaves, crashes):
@@ -331,13 +331,19 @@
             if fault is sigterm:
                 await at.app.done.wait()
                 at.app = at.start()
-                await until(lambda: at.app._counter and at.app._counter._used and at.app._hosts.ready)
+                await until(
+                    lambda: (
+                        at.app.parts.counter and at.app.parts.counter._used and at.app.parts.discovery.ready
+                    )
+                )
             elif fault is server_drained:
                 before = len(at.node.commands)
                 assert str(await at.ask("late")).startswith("-BUSY") and len(at.node.commands) == before
                 return
             # The quota is neither passed nor lost: what is left of it is let through, and no more.
-            await until(lambda: at.app._counter and at.app._counter._used and at.app._hosts.ready)
+            await until(
+                lambda: at.app.parts.counter and at.app.parts.counter._used and at.app.parts.discovery.ready
+            )
             for n in range(BURST + 4):
                 at.module._quota._chance = 1.0  # the counter is sound again, and asked
                 await at.ask(f"more{n}")
--- a/tests/gateway/test_golden_admin.py
+++ b/tests/gateway/test_golden_admin.py
@@ -8,7 +8,7 @@
 from badgeryoke.gateway.admin.rendering import Gauges, render
 from badgeryoke.gateway.application import GatewayApplication
 from badgeryoke.gateway.graceful_shutdown import ShutdownState
-from badgeryoke.gateway.metrics import COMPLETED, FAILED, REJECTED, Metrics
+from badgeryoke.gateway.metrics import Metrics, RequestResult
 from tests.gateway.resp.test_client_connection import ask, play
 from tests.gateway.test_service import until
 from tests.support.golden_files import assert_golden, golden, text_lines
@@ -32,12 +32,12 @@
     """All figures of a fixed state, also of a class whose name has to be escaped."""
     made = Metrics(["read", "write"])
     made.add_classes(['odd "name"\\', "two\nlines\r", "read"])
-    made.ended["read"][COMPLETED] = 11
-    made.ended["read"][REJECTED] = 12
-    made.ended["write"][FAILED] = 13
-    made.ended['odd "name"\\'][REJECTED] = 14
+    made.finished["read"][RequestResult.COMPLETED] = 11
+    made.finished["read"][RequestResult.REJECTED] = 12
+    made.finished["write"][RequestResult.FAILED] = 13
+    made.finished['odd "name"\\'][RequestResult.REJECTED] = 14
     for _ in range(15):
-        made.attempted()
+        made.attempt_sent()
     made.reloads, made.reload_errors = 16, 17
     return render(made, Gauges(pending=18, members=19, members_unavailable=20))
 
@@ -111,7 +111,7 @@
 
 async def called(app: GatewayApplication, line: bytes) -> bytes:
     """All of an answer, to the connection's end."""
-    reader, writer = await connect(app.mgmt_address)
+    reader, writer = await connect(app.lifecycle.admin_address)
     writer.write(line)
     answer = await reader.read()
     writer.close()
@@ -137,7 +137,7 @@
                 await ask(app, query("w", "load-send", key="1" * 16))
                 await call(b"METRICS\n")
                 await call(b"PAUSE\n")
-                await until(lambda: app._drain.state is ShutdownState.PAUSED)
+                await until(lambda: app.lifecycle.shutdown.state is ShutdownState.PAUSED)
                 await call(b"STATUS\n")
                 lines.append(f"client, paused: {await ask(app, resp('PING'))!r}")
                 await call(b"RESUME\n")
--- a/tests/gateway/test_golden_hot_restart.py
+++ b/tests/gateway/test_golden_hot_restart.py
@@ -122,10 +122,10 @@
         self._why_not = why_not
         self.told = asyncio.Event()
 
-    def give(self) -> state_snapshot.StateSnapshot | str:
+    def take_snapshot(self) -> state_snapshot.StateSnapshot | str:
         return self._why_not or decoded(golden(STATE))
 
-    def succeeded(self, handed: state_snapshot.StateSnapshot) -> None:
+    def successor_ready(self, handed: state_snapshot.StateSnapshot) -> None:
         self.told.set()
 
 
@@ -178,9 +178,9 @@
     server = await asyncio.start_unix_server(give, str(path))
     ended = asyncio.Event()
     taker = transfer.SnapshotReceiver(path)
-    handed = await taker.ask()
+    handed = await taker.receive()
     assert handed is not None and state_snapshot.encode(handed) == golden(STATE)
-    await taker.serving(ended.set)
+    await taker.confirm_serving(ended.set)
     await ended.wait()
     server.close()
     return said
@@ -188,7 +188,7 @@
 
 def exchanged(folder: Path) -> list[str]:
     """Each line that goes over the connection, by who writes it."""
-    lines: list[str] = [f"address: {transfer.address('folder', '../n 0').as_posix()}"]
+    lines: list[str] = [f"address: {transfer.socket_path('folder', '../n 0').as_posix()}"]
 
     async def record() -> None:
         lines.extend(f"taker: {line!r}" for line in await said_by_taker(folder))
