--- a/tests/gateway/test_hot_restart.py
+++ b/tests/gateway/test_hot_restart.py
@@ -130,7 +130,13 @@
 async def started(made: Config) -> GatewayApplication:
     app = GatewayApplication(made, lambda: NOW_MS)
     app.start()
-    await until(lambda: app.status()[0] and app._giver is not None and app._giver.ready)
+    await until(
+        lambda: (
+            app.status()[0]
+            and app.lifecycle.snapshot_sender is not None
+            and app.lifecycle.snapshot_sender.ready
+        )
+    )
     return app
 
 
@@ -155,7 +161,7 @@
     async def test() -> None:
         async with platform(tmp_path) as (made, node, counter):
             app = await started(made)
-            address, asked, stop = app.address, 0, False
+            address, asked, stop = app.lifecycle.address, 0, False
             answers: list[Any] = []
 
             async def asking(name: str) -> None:
@@ -169,8 +175,8 @@
                 before = asked
                 await until(lambda: asked > before + 5 or any(one.done() for one in clients))  # noqa: B023
                 fresh = await started(made)
-                await until(lambda: app._drain.state is ShutdownState.YIELDING)  # noqa: B023
-                assert fresh.core._module._quota._ledgers.keys() == {5}  # type: ignore[attr-defined]
+                await until(lambda: app.lifecycle.shutdown.state is ShutdownState.REPLACED)  # noqa: B023
+                assert fresh.parts.dispatcher._module._quota._ledgers.keys() == {5}  # type: ignore[attr-defined]
                 await ended(app)
                 app = fresh
             stop = True
@@ -189,14 +195,17 @@
     async def test() -> None:
         async with platform(tmp_path) as (made, _, _counter):
             app = await started(made)
-            path = str(transfer.address(made.folder or "", made.name))
+            path = str(transfer.socket_path(made.folder or "", made.name))
             reader, writer = await asyncio.open_unix_connection(path)
             writer.write(said)
             if said.startswith(b"TAKE"):
                 head = b"STATE %d " % state_snapshot.VERSION if said.startswith(TAKE) else b"ERR "
                 assert (await asyncio.wait_for(reader.readline(), 5.0)).startswith(head)
             writer.transport.abort()
-            assert await ask_once(app.address, "r") == b"value" and app._drain.state is ShutdownState.SERVING
+            assert (
+                await ask_once(app.lifecycle.address, "r") == b"value"
+                and app.lifecycle.shutdown.state is ShutdownState.SERVING
+            )
             await ended(app)
 
     play(test)
@@ -206,7 +215,7 @@
 def test_without_a_sound_predecessor_it_starts_as_after_a_crash(
     left: str, tmp_path: Path, caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(transfer, "STEP_S", 0.1)
+    monkeypatch.setattr(transfer, "STEP_TIMEOUT_S", 0.1)
 
     async def answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         if left == "spoilt":
@@ -216,7 +225,7 @@
 
     async def test() -> None:
         async with platform(tmp_path) as (made, _, _counter):
-            path = transfer.address(made.folder or "", made.name)
+            path = transfer.socket_path(made.folder or "", made.name)
             server = None
             if left == "stale":
                 with socket.socket(socket.AF_UNIX) as one:
@@ -226,11 +235,11 @@
             else:
                 server = await asyncio.start_unix_server(answer, str(path))
             app = await started(made)
-            assert await ask_once(app.address, "r") == b"value"
+            assert await ask_once(app.lifecycle.address, "r") == b"value"
             if server is not None:
                 server.close()
             fresh = await started(made)  # and it can itself be replaced
-            assert fresh.core._module._quota._ledgers  # type: ignore[attr-defined]
+            assert fresh.parts.dispatcher._module._quota._ledgers  # type: ignore[attr-defined]
             await ended(app, fresh)
 
     play(test)
@@ -246,7 +255,7 @@
             made = replace(made, name="../n 0" * 20)
             app = await started(made)
             fresh = await started(made)
-            await until(lambda: app._drain.state is ShutdownState.YIELDING)
+            await until(lambda: app.lifecycle.shutdown.state is ShutdownState.REPLACED)
             await ended(app, fresh)
         assert os.listdir(folder) == []
 
--- a/tests/gateway/test_operations.py
+++ b/tests/gateway/test_operations.py
@@ -60,7 +60,7 @@
 
 async def call(app: GatewayApplication, line: bytes = b"STATUS\n", half_close: bool = False) -> list[str]:
     """All lines of one answer, to the connection's end."""
-    reader, writer = await connect(app.mgmt_address)
+    reader, writer = await connect(app.lifecycle.admin_address)
     writer.write(line)
     if half_close:
         writer.write_eof()
@@ -108,7 +108,7 @@
 
     async def test() -> None:
         async with operated() as (app, _):
-            idle = [await connect(app.mgmt_address) for _ in range(4)]
+            idle = [await connect(app.lifecycle.admin_address) for _ in range(4)]
             idle[3][1].write(b"STAT")
             assert (await call(app))[0] == "+OK serving"
             assert await idle[0][0].read() == b""  # the oldest gave way
@@ -171,7 +171,7 @@
     async def test() -> None:
         script = [None, b"-ERR failed\r\n", b"RESET"]
         async with operated(script=script) as (app, node):
-            reader, writer = await connect(app.address)
+            reader, writer = await connect(app.lifecycle.address)
             writer.write(query("open", "load-send", key="k0"))
             await until(lambda: len(node.commands) == 1)
             assert (await figures(app))["lb_pending"] == 1
@@ -216,37 +216,37 @@
         drain.state = start
         for event in (
             ShutdownEvent.PAUSE,
-            ShutdownEvent.TERM,
+            ShutdownEvent.TERMINATE,
             ShutdownEvent.RESUME,
-            ShutdownEvent.TURNED,
+            ShutdownEvent.NOTICE_ELAPSED,
             ShutdownEvent.PAUSE,
-            ShutdownEvent.EMPTY,
+            ShutdownEvent.ALL_ANSWERED,
             ShutdownEvent.RESUME,
-            ShutdownEvent.SETTLED,
+            ShutdownEvent.USAGE_REPORTED,
         ):
             drain.post(event)
         assert drain.state is ShutdownState.ENDED and drain.ending
-    leaves = {state for state, event in TRANSITIONS if ShutdownEffect.LEAVE in TRANSITIONS[state, event][1]}
-    assert leaves == {ShutdownState.CLOSING, ShutdownState.SETTLING}
+    leaves = {state for state, event in TRANSITIONS if ShutdownEffect.EXIT in TRANSITIONS[state, event][1]}
+    assert leaves == {ShutdownState.DRAINING, ShutdownState.REPORTING}
 
 
 def test_a_timer_of_an_earlier_round_does_nothing() -> None:
     drain = GracefulShutdown()
     drain.post(ShutdownEvent.PAUSE)
-    old = drain.round
+    old = drain.generation
     drain.post(ShutdownEvent.RESUME)
     drain.post(ShutdownEvent.PAUSE)
-    assert drain.post(ShutdownEvent.TURNED, old) == ()
-    assert drain.post(ShutdownEvent.TURNED, drain.round) == (ShutdownEffect.CLOSE_LINKS,)
+    assert drain.post(ShutdownEvent.NOTICE_ELAPSED, old) == ()
+    assert drain.post(ShutdownEvent.NOTICE_ELAPSED, drain.generation) == (ShutdownEffect.CLOSE_CONNECTIONS,)
     assert drain.post(ShutdownEvent.PAUSE) == () and drain.state.value == "drained"
 
 
 def test_pause_sends_clients_away_between_requests_and_resume_takes_them_again() -> None:
     async def test() -> None:
         async with operated(script=[None], drain_s=0.05) as (app, node):
-            busy_reader, busy = await connect(app.address)
+            busy_reader, busy = await connect(app.lifecycle.address)
             busy.write(query("open"))
-            idle_reader, idle = await connect(app.address)
+            idle_reader, idle = await connect(app.lifecycle.address)
             idle.write(b"*1\r\n$4\r\nPING\r\n")
             assert await idle_reader.readline() == b"+PONG\r\n"
             await until(lambda: node.commands)
@@ -262,7 +262,7 @@
             assert await busy_reader.read() == b"$4\r\nlast\r\n"  # its answer, then the end
             assert await ask(app, query("late")) == [b"value"]  # a straggler gets one answer, then the end
             assert await call(app, b"RESUME\n") == ["+OK"]
-            back_reader, back = await connect(app.address)
+            back_reader, back = await connect(app.lifecycle.address)
             for n in range(2):
                 back.write(b"*1\r\n$4\r\nPING\r\n" + query(f"back{n}"))
                 assert await back_reader.readexactly(18) == b"+PONG\r\n$5\r\nvalue\r\n"
@@ -279,7 +279,7 @@
 
     async def test() -> None:
         async with operated() as (app, _):
-            reader, writer = await connect(app.address)
+            reader, writer = await connect(app.lifecycle.address)
 
             async def asking() -> int:
                 sent = 0
@@ -290,13 +290,13 @@
                 return sent
 
             asks = asyncio.ensure_future(asking())
-            await until(lambda: app.core.figures.ended["balance-check"][0] > 3)
+            await until(lambda: app.parts.dispatcher.metrics.finished["balance-check"][0] > 3)
             await call(app, b"PAUSE\n")
             read = await reader.read()
             asks.cancel()
             writer.close()
             assert re.fullmatch(rb"(\$5\r\nvalue\r\n|-BUSY \d+\r\n)+", read)  # whole answers alone
-            assert app.core.unanswered == 0
+            assert app.parts.dispatcher.unanswered == 0
 
     play(test)
 
@@ -321,10 +321,10 @@
 
     async def test() -> None:
         async with operated(script=[None], drain_s=0.05) as (app, node):
-            reader, writer = await connect(app.address)
+            reader, writer = await connect(app.lifecycle.address)
             writer.write(query("long"))
             await until(lambda: node.commands)
-            [link] = app._front.links
+            [link] = app.parts.resp_listener.links
             app.end()
             await until(lambda: link._ending)
             writer.write(query("behind"))
@@ -338,10 +338,10 @@
 def test_a_connection_idle_for_long_is_closed_whole_so_that_nothing_is_read_and_dropped() -> None:
     async def test() -> None:
         async with operated(drain_s=0.05) as (app, _):
-            reader, writer = await connect(app.address)
+            reader, writer = await connect(app.lifecycle.address)
             writer.write(query())
             assert await reader.readexactly(11) == b"$5\r\nvalue\r\n"
-            [link] = app._front.links
+            [link] = app.parts.resp_listener.links
             link._told_at -= client_link_module.LINGER_S
             app.end()
             assert await reader.read() == b"" and link._stream.closed()
--- a/tests/gateway/test_parsers.py
+++ b/tests/gateway/test_parsers.py
@@ -231,7 +231,7 @@
 def test_answers_are_kept_for_their_time_and_in_bounds() -> None:
     at = [0.0]
     repeats = DuplicateRequests(240.0, lambda: at[0], most=1)
-    from badgeryoke.gateway.dispatcher import Failed
+    from badgeryoke.gateway.responses import Failed
 
     first = RequestIdentity("h", 1, "s", 0)
     entry_ = repeats.begin(first)
--- a/tests/gateway/test_quota_counter_faults.py
+++ b/tests/gateway/test_quota_counter_faults.py
@@ -16,8 +16,8 @@
 import pytest
 
 from badgeryoke.decisions.interface import CounterReply, Verdict
-from badgeryoke.gateway import actor
-from badgeryoke.gateway.actor import new_socket
+from badgeryoke.gateway import connecting
+from badgeryoke.gateway.connecting import new_socket
 from badgeryoke.gateway.quota_counter import client as counter_module
 from badgeryoke.gateway.quota_counter.client import FROZEN_TIMES, MOST_CALLS, QuotaCounterClient
 from tests.gateway.resp.test_client_connection import play
@@ -140,7 +140,7 @@
             real = calls.link._retry
             calls.link._retry = waits.append  # type: ignore[assignment, method-assign]
             with monkeypatch.context() as full:
-                full.setattr(actor, "new_socket", none)
+                full.setattr(connecting, "new_socket", none)
                 await close(counter, True)
                 await until(lambda: waits)
                 assert (await calls.call(7)).verdict is Verdict.CONNECT_FAILED
@@ -178,7 +178,7 @@
         made.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2048)
         return made
 
-    monkeypatch.setattr(actor, "new_socket", small)
+    monkeypatch.setattr(connecting, "new_socket", small)
 
     async def test() -> None:
         async with Stuck() as counter:
--- a/tests/gateway/test_reload.py
+++ b/tests/gateway/test_reload.py
@@ -102,7 +102,7 @@
         made = config(list_.port, None, roster(entry("a", node.port)))
         app = GatewayApplication(made, lambda: NOW_MS, lambda: new(made))
         app.start()
-        await until(lambda: app._hosts.ready)
+        await until(lambda: app.parts.discovery.ready)
         try:
             await test(app, node)
         finally:
@@ -121,7 +121,7 @@
         return replace(made, settings=made_settings(classes=classes, has_counter=False, max_attempts=1))
 
     async def test(app: GatewayApplication, node: Backend) -> None:
-        reader, writer = await connect(app.address)
+        reader, writer = await connect(app.lifecycle.address)
         writer.write(query("open", "load-send", key="k"))
         await until(lambda: len(node.commands) == 1)
         app.reload()
@@ -133,7 +133,10 @@
         assert await reader.readexactly(11) == b"$5\r\nvalue\r\n"
         by_id = [(command[0], command[2]) for command in node.commands]
         assert by_id.count((b"SVC.SUBMIT", b"open")) == 2 and (b"SVC.QUERY", b"changed") in by_id
-        assert app.core.figures.ended["balance-check"] == [0, 0, 0] and app.core.figures.reloads == 1
+        assert (
+            app.parts.dispatcher.metrics.finished["balance-check"] == [0, 0, 0]
+            and app.parts.dispatcher.metrics.reloads == 1
+        )
         writer.close()
 
     play(lambda: reloading(new, test, Backend(script=[None])))
@@ -161,22 +164,22 @@
         return file
 
     async def test(app: GatewayApplication, node: Backend) -> None:
-        one = replace(app._config, settings=made_settings(classes=(SAFE,), has_counter=False))
+        one = replace(app.parts.config, settings=made_settings(classes=(SAFE,), has_counter=False))
         grown = made_settings(classes=(SAFE, KEYED), has_counter=False, gateway_count=40)
-        two = replace(app._config, settings=grown)
+        two = replace(app.parts.config, settings=grown)
         files[:] = [ConfigError("settings: missing"), replace(two, shape={"a": None}), one, two]
-        app._config = replace(app._config, shape={"a": None, "b": None})
+        app.parts.config = replace(app.parts.config, shape={"a": None, "b": None})
         app.reload()
         app.reload()  # lacks b
         assert await ask(app, query("kept", "load-send", key="k")) == [b"value"]
-        app._config = replace(app._config, shape=None)
+        app.parts.config = replace(app.parts.config, shape=None)
         app.reload()
         app.reload()
         assert await ask(app, query("back", "load-send", key="k2")) == [b"value"]
-        assert (app.core.figures.reloads, app.core.figures.reload_errors) == (2, 2)
+        assert (app.parts.dispatcher.metrics.reloads, app.parts.dispatcher.metrics.reload_errors) == (2, 2)
         app.pause()
         files[:] = [one]
-        assert app._hosts.longest == 2.0  # the fleet has grown, for discovery as well
+        assert app.parts.discovery.longest == 2.0  # the fleet has grown, for discovery as well
         app.reload()  # during a drain
         app.resume()
         assert "syntax" in str(await ask(app, query("gone", "load-send", key="k3")))
--- a/tests/gateway/test_response_stream.py
+++ b/tests/gateway/test_response_stream.py
@@ -10,7 +10,12 @@
 
 from badgeryoke.gateway.resp import upstream_connection as server_link_module
 from badgeryoke.gateway.resp.codec import MAX_BULK, MAX_LONG, Passed, RespParser
-from badgeryoke.gateway.response_stream import WINDOW, WINDOW_LEAST, BufferBudget, ResponseStream
+from badgeryoke.gateway.response_stream import (
+    MAX_WINDOW_BYTES,
+    MIN_WINDOW_BYTES,
+    BufferBudget,
+    ResponseStream,
+)
 from tests.gateway.resp.test_client_connection import ask, play
 from tests.gateway.test_service import until
 from tests.support.stand_ins import connect, one_gateway, query
@@ -58,29 +63,29 @@
 
 
 def test_the_room_is_shared_out_and_never_below_the_least() -> None:
-    room = BufferBudget(4 * WINDOW)
+    room = BufferBudget(4 * MAX_WINDOW_BYTES)
     relays = [ResponseStream(1, room) for _ in range(4)]
-    assert room.window == WINDOW
+    assert room.window_bytes == MAX_WINDOW_BYTES
     relays += [ResponseStream(1, room) for _ in range(4)]
-    assert room.window == WINDOW // 2
+    assert room.window_bytes == MAX_WINDOW_BYTES // 2
     relays += [ResponseStream(1, room) for _ in range(1000)]
-    assert room.window == WINDOW_LEAST
+    assert room.window_bytes == MIN_WINDOW_BYTES
     for relay in relays:
-        relay.fail()
-        relay.leave()  # counts once
-    assert room.open == 0
+        relay.abort()
+        relay.cancel()  # counts once
+    assert room.open_streams == 0
 
 
 def test_a_relay_gives_room_back_as_it_is_taken_from() -> None:
     relay, told = ResponseStream(10, BufferBudget(8 * 1024)), []
-    relay.on_room = lambda: told.append(relay.held)
-    relay.put(b"a" * 5000)
-    relay.put(b"b" * 5000)
-    assert relay.full and relay.take(1000) == b"a" * 1000 and told == []
-    assert relay.take(4500) == b"a" * 4000 + b"b" * 500 and told == [4500]
-    relay.end()
-    relay.fail()  # whole already
-    assert not relay.broken and relay.take(10**6) == b"b" * 4500
+    relay.on_capacity = lambda: told.append(relay.buffered_bytes)
+    relay.append(b"a" * 5000)
+    relay.append(b"b" * 5000)
+    assert relay.full and relay.read(1000) == b"a" * 1000 and told == []
+    assert relay.read(4500) == b"a" * 4000 + b"b" * 500 and told == [4500]
+    relay.finish()
+    relay.abort()  # whole already
+    assert not relay.aborted and relay.read(10**6) == b"b" * 4500
 
 
 # On sockets -------------------------------------------------------------------------------------------
@@ -95,8 +100,8 @@
                 command[2] for command in node.commands
             } == {b"r1", b"r2"}
             assert await ask(app, query("r3")) == [b"value"]
-            assert app.core.figures.ended["balance-check"] == [3, 0, 0]
-            assert app._room.open == 0 and app.core.unanswered == 0
+            assert app.parts.dispatcher.metrics.finished["balance-check"] == [3, 0, 0]
+            assert app.parts.stream_budget.open_streams == 0 and app.parts.dispatcher.unanswered == 0
 
     play(test)
 
@@ -104,12 +109,12 @@
 def test_the_first_bytes_go_on_at_once_and_the_rest_as_it_comes() -> None:
     async def test() -> None:
         async with one_gateway(script=[None]) as (app, node, _):
-            reader, writer = await connect(app.address)
+            reader, writer = await connect(app.lifecycle.address)
             writer.write(query())
             await until(lambda: node.commands)
             node.writers[0].write(b"*3\r\n$100000\r\nfirst")
             assert await reader.readexactly(14) == b"$100000\r\nfirst"
-            assert app.core.unanswered == 1
+            assert app.parts.dispatcher.unanswered == 1
             node.writers[0].write(b"x" * 99_995)
             assert await reader.readexactly(99_995) == b"x" * 99_995
             node.writers[0].write(TAIL[:2])  # its own line end: the client has it whole, figures or not
@@ -125,16 +130,16 @@
     async def test() -> None:
         big = value(MAX_LONG)
         async with one_gateway(script=[b"*3\r\n$%d\r\n" % MAX_LONG + big + TAIL]) as (app, _, _list):
-            with socket.create_connection(app.address[:2]) as slow:
+            with socket.create_connection(app.lifecycle.address[:2]) as slow:
                 slow.sendall(query())
-                await until(lambda: app._room.open)
-                [run] = app.core._running.values()
-                relay = run.relay
+                await until(lambda: app.parts.stream_budget.open_streams)
+                [run] = app.parts.dispatcher._pending.values()
+                relay = run.response_stream
                 assert relay is not None
                 await until(lambda: relay.full)
                 for n in range(20):
                     assert await ask(app, query(f"beside{n}")) == [b"value"]
-                    assert relay.held <= WINDOW + server_link_module.RELAY_CHUNK * 4
+                    assert relay.buffered_bytes <= MAX_WINDOW_BYTES + server_link_module.RELAY_CHUNK * 4
                 slow.setblocking(False)
                 got = bytearray()
                 loop = asyncio.get_running_loop()
@@ -142,7 +147,7 @@
                 while len(got) < len(head) + MAX_LONG + 2:
                     got += await loop.sock_recv(slow, 300_000)
                 assert got == head + big + b"\r\n"
-            await until(lambda: app.core.unanswered == 0)
+            await until(lambda: app.parts.dispatcher.unanswered == 0)
 
     play(test)
 
@@ -155,10 +160,10 @@
 
     async def test() -> None:
         async with one_gateway(script=[None]) as (app, node, _):
-            reader, writer = await connect(app.address)
+            reader, writer = await connect(app.lifecycle.address)
             writer.write(query("r1", "load-send", key="k"))
             await until(lambda: node.commands)
-            link = app._links[1][1]
+            link = app.parts.upstreams.by_number[1][1]
             assert isinstance(link, server_link_module.RespUpstream)
             link._clock = lambda: asyncio.get_running_loop().time() * 1000.0
             node.writers[0].write(b"*3\r\n$70000\r\nfirst")
@@ -170,7 +175,10 @@
             rest = await reader.read()
             assert len(rest) <= 70_000 and not rest.endswith(b"\r\n")  # the end, and no whole value
             assert len(node.commands) == 1  # never sent again
-            assert app.core.figures.ended["load-send"] == [0, 0, 1] and app._room.open == 0
+            assert (
+                app.parts.dispatcher.metrics.finished["load-send"] == [0, 0, 1]
+                and app.parts.stream_budget.open_streams == 0
+            )
             writer.close()
 
     play(test)
@@ -179,15 +187,15 @@
 def test_a_client_that_leaves_in_the_middle_ends_the_attempt() -> None:
     async def test() -> None:
         async with one_gateway(script=[None]) as (app, node, _):
-            reader, writer = await connect(app.address)
+            reader, writer = await connect(app.lifecycle.address)
             writer.write(query())
             await until(lambda: node.commands)
             node.writers[0].write(b"*3\r\n$70000\r\nfirst")
             await reader.readexactly(13)
             writer.transport.abort()
             await node.ended.wait()
-            await until(lambda: not app.core._running)
-            assert app._room.open == 0
+            await until(lambda: not app.parts.dispatcher._pending)
+            assert app.parts.stream_budget.open_streams == 0
 
     play(test)
 
@@ -196,16 +204,16 @@
 def test_a_value_on_its_way_outlives_a_drain_and_then_its_connection_closes(how: str) -> None:
     async def test() -> None:
         async with one_gateway(script=[None]) as (app, node, _):
-            reader, writer = await connect(app.address)
+            reader, writer = await connect(app.lifecycle.address)
             writer.write(query())
             await until(lambda: node.commands)
             node.writers[0].write(b"*3\r\n$70000\r\nfirst")
             assert await reader.readexactly(13) == b"$70000\r\nfirst"
             getattr(app, how)()
-            await until(lambda: app._drain.state.value in ("drained", "closing"))
+            await until(lambda: app.lifecycle.shutdown.state.value in ("drained", "closing"))
             node.writers[0].write(b"x" * 69_995 + TAIL)
             assert await reader.read() == b"x" * 69_995 + b"\r\n"  # whole, then the end
-            assert app.core.figures.ended["balance-check"] == [1, 0, 0]
+            assert app.parts.dispatcher.metrics.finished["balance-check"] == [1, 0, 0]
             writer.close()
 
     play(test)
--- a/tests/gateway/test_service.py
+++ b/tests/gateway/test_service.py
@@ -18,7 +18,7 @@
 import pytest
 
 from badgeryoke.decisions.interface import Verdict
-from badgeryoke.gateway import application as gateway_module
+from badgeryoke.gateway import parts
 from badgeryoke.gateway.application import GatewayApplication
 from badgeryoke.gateway.attempt import Attempt, AttemptEnd, Request
 from badgeryoke.gateway.config.platform_file import Config, ConfigError
@@ -70,12 +70,12 @@
                 lambda: replace(made, discovery=(HOST, moved.port), counter=(HOST, new.port)),
             )
             app.start()
-            await until(lambda: app._hosts.ready)
-            reader, writer = await connect(app.address)
+            await until(lambda: app.parts.discovery.ready)
+            reader, writer = await connect(app.lifecycle.address)
             writer.write(query("open"))
             await node.books.arrived.wait()
             old.held.clear()
-            waits_reader, waits = await connect(app.address)
+            waits_reader, waits = await connect(app.lifecycle.address)
             waits.write(query("waits", units=2, customer=6))  # its call is out at the old counter
             await until(lambda: old.units == 3)
             app.reload()
@@ -103,7 +103,7 @@
                 config(list_.port, None, roster(entry("a", node.port))), lambda: NOW_MS, faulty
             )
             app.start()
-            await until(lambda: app._hosts.ready)
+            await until(lambda: app.parts.discovery.ready)
             app.reload()
             assert await ask(app, query()) == [b"value"]
             app.end()
@@ -200,17 +200,17 @@
 
 def test_an_idle_connection_gives_way_to_a_new_one(monkeypatch: pytest.MonkeyPatch) -> None:
     """Clients that asked once and stayed held every place, and all that came after were turned away."""
-    monkeypatch.setattr(gateway_module, "CLIENT_PART", 3 / 1024)
+    monkeypatch.setattr(parts, "RESP_CLIENTS_FRACTION", 3 / 1024)
     monkeypatch.setattr(front_module, "GIVE_WAY_S", 0.0)
 
     async def test() -> None:
         async with one_gateway(script=[None]) as (app, node, _):
-            busy_reader, busy = await connect(app.address)
+            busy_reader, busy = await connect(app.lifecycle.address)
             busy.write(query("busy"))
             await node.books.arrived.wait()
             idle: list[asyncio.StreamReader] = []
             for n in range(6):
-                reader, writer = await connect(app.address)
+                reader, writer = await connect(app.lifecycle.address)
                 idle.append(reader)
                 writer.write(query(f"r{n}"))
                 assert await read_reply(reader) == b"value"
@@ -223,18 +223,18 @@
 
 def test_a_crowd_of_clients_that_ask_once_each_is_served(monkeypatch: pytest.MonkeyPatch) -> None:
     """A connection had to be idle for 2 s to give way: a hundred new ones a second filled all places."""
-    monkeypatch.setattr(gateway_module, "CLIENT_PART", 2 / 1024)
+    monkeypatch.setattr(parts, "RESP_CLIENTS_FRACTION", 2 / 1024)
 
     async def test() -> None:
         async with one_gateway() as (app, _, _):
             writers = []
             for n in range(8):
-                reader, writer = await connect(app.address)
+                reader, writer = await connect(app.lifecycle.address)
                 writers.append(writer)
                 writer.write(query(f"r{n}"))
                 assert await read_reply(reader) == b"value"
-                now = app._loop.time()
-                for link in app._front.links:
+                now = app.parts.loop.time()
+                for link in app.parts.resp_listener.links:
                     link.idle_since = now - front_module.GIVE_WAY_S  # so much later
 
     play(test)
@@ -244,18 +244,18 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Clients hold a third of the descriptors at most: a crowd that stayed kept all others from coming."""
-    monkeypatch.setattr(gateway_module, "CROWD_PART", 4 / 1024)
+    monkeypatch.setattr(parts, "CROWDED_CLIENTS_FRACTION", 4 / 1024)
     monkeypatch.setattr(front_module, "CROWD_S", 0.0)
 
     async def test() -> None:
         async with one_gateway() as (app, _, _):
             writers = []
             for n in range(12):
-                reader, writer = await connect(app.address)
+                reader, writer = await connect(app.lifecycle.address)
                 writers.append(writer)
                 writer.write(query(f"r{n}"))
                 assert await read_reply(reader) == b"value"
-            await until(lambda: len(app._front.links) <= 4)  # though nobody new comes
+            await until(lambda: len(app.parts.resp_listener.links) <= 4)  # though nobody new comes
 
     play(test)
 
@@ -268,7 +268,7 @@
 
     async def test() -> None:
         async with one_gateway() as (app, _, _):
-            reader, writer = await connect(app.address)
+            reader, writer = await connect(app.lifecycle.address)
             writer.write(sent)
             assert await reader.read() == b""
 
@@ -282,10 +282,10 @@
 
     async def test() -> None:
         async with one_gateway(script=[None]) as (app, node, _):
-            reader, writer = await connect(app.address)
+            reader, writer = await connect(app.lifecycle.address)
             writer.write(query("whole") + resp("PING")[:6])
             await node.books.arrived.wait()
-            [link] = app._front.links
+            [link] = app.parts.resp_listener.links
             await until(lambda: link._ending)
             node.writers[0].write(b"*1\r\n$4\r\nkept\r\n")
             assert await read_reply(reader) == b"kept"
@@ -296,14 +296,14 @@
 
 def test_a_connection_whose_end_is_in_the_mailbox_is_not_looked_at(monkeypatch: pytest.MonkeyPatch) -> None:
     """Looking for unread bytes in it raised, and the newcomer's connection was left hanging."""
-    monkeypatch.setattr(gateway_module, "CLIENT_PART", 1 / 1024)
+    monkeypatch.setattr(parts, "RESP_CLIENTS_FRACTION", 1 / 1024)
     monkeypatch.setattr(front_module, "GIVE_WAY_S", 0.0)
 
     async def test() -> None:
         async with one_gateway() as (app, _, _):
-            _, writer = await connect(app.address)
-            await until(lambda: app._front.links)
-            [link] = app._front.links
+            _, writer = await connect(app.lifecycle.address)
+            await until(lambda: app.parts.resp_listener.links)
+            [link] = app.parts.resp_listener.links
             link.abort()
             assert not link.idle
             writer.close()
@@ -314,10 +314,10 @@
 def test_a_connection_that_is_used_or_young_is_kept() -> None:
     async def test() -> None:
         async with one_gateway() as (app, _, _):
-            reader, writer = await connect(app.address)
+            reader, writer = await connect(app.lifecycle.address)
             writer.write(query())
             assert await read_reply(reader) == b"value"
-            app._front.sweep()
+            app.parts.resp_listener.sweep()
             writer.write(resp("PING"))
             assert await read_reply(reader) == "+PONG"
 
@@ -373,7 +373,7 @@
 def test_a_client_that_sends_one_malformed_command_after_another_is_closed() -> None:
     async def test() -> None:
         async with one_gateway() as (app, node, _):
-            reader, writer = await connect(app.address)
+            reader, writer = await connect(app.lifecycle.address)
             writer.write(query(cls="lottery") * 500 + query())
             answers = (await reader.read()).split(b"\r\n")
             assert len(answers) - 1 == MOST_FAULTS and all(a[:4] == b"-ERR" for a in answers[:-1])
@@ -388,7 +388,7 @@
 
     async def test() -> None:
         async with one_gateway(script=[None]) as (app, node, _):
-            reader, writer = await connect(app.address)
+            reader, writer = await connect(app.lifecycle.address)
             writer.write(query("mine"))
             await node.books.arrived.wait()
             [answer] = await ask(app, query("mine", customer=6))
@@ -405,7 +405,7 @@
 
     async def test() -> None:
         async with one_gateway() as (app, _, _):
-            reader, writer = await connect(app.address)
+            reader, writer = await connect(app.lifecycle.address)
             writer.write(b"*5\r\n" + 2 * (b"$60000\r\n" + b"x" * 60_000 + b"\r\n"))
             assert (await reader.read()).startswith(b"-ERR protocol: too large")
 
@@ -413,11 +413,11 @@
 
 
 def test_half_commands_are_bounded_over_all_connections(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(gateway_module, "HALVES_PART", 0.0)
+    monkeypatch.setattr(parts, "PARTIAL_COMMANDS_FRACTION", 0.0)
 
     async def test() -> None:
         async with one_gateway() as (app, _, _):
-            reader, writer = await connect(app.address)
+            reader, writer = await connect(app.lifecycle.address)
             writer.write(resp("PING", "x" * 1000)[:-10])
             assert await reader.read() == b""
 
@@ -432,13 +432,15 @@
         async with one_gateway(script=[value]) as (app, _, _):
             with socket.socket() as client:
                 client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-                client.connect(app.address)  # into the backlog: nothing is accepted while this waits
-                await until(lambda: app._front.links)
-                [link] = app._front.links
+                client.connect(
+                    app.lifecycle.address
+                )  # into the backlog: nothing is accepted while this waits
+                await until(lambda: app.parts.resp_listener.links)
+                [link] = app.parts.resp_listener.links
                 link._stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
                 client.sendall(query())
                 await until(lambda: link.unread_since < math.inf)
-                await until(lambda: not app._front.links)
+                await until(lambda: not app.parts.resp_listener.links)
 
     play(test)
 
@@ -464,13 +466,13 @@
 def test_what_comes_on_an_idle_connection_is_not_the_next_answer() -> None:
     async def test() -> None:
         async with one_gateway(script=[GOOD]) as (app, node, _):
-            reader, writer = await connect(app.address)
+            reader, writer = await connect(app.lifecycle.address)
             writer.write(query("r1"))
             assert await read_reply(reader) == b"good"
             # A second copy, sent so that the gateway has not read it when the next query comes.
             raw = node.writers[0].get_extra_info("socket")
             os.write(raw.fileno(), GOOD)
-            link = next(iter(app._links.values()))[1]
+            link = next(iter(app.parts.upstreams.by_number.values()))[1]
             assert isinstance(link, RespUpstream)
             assert link._rested() is None
             writer.write(query("r2"))
@@ -528,4 +530,4 @@
     execution.written()
     assert settle(execution, [b"good", use, load], ("latency_ms", "inflight"), 6.0).usable
     [end] = ends
-    assert (end.verdict, end.value, end.true_units, end.report) == (Verdict.OK, b"good", units, report)
+    assert (end.verdict, end.value, end.true_units, end.load_report) == (Verdict.OK, b"good", units, report)
--- a/tests/support/stand_ins.py
+++ b/tests/support/stand_ins.py
@@ -446,7 +446,7 @@
     """A gateway that is ready, and is ended in order."""
     app = GatewayApplication(made, clock)
     app.start()
-    while made.known is not None and not app._hosts.ready:
+    while made.known is not None and not app.parts.discovery.ready:
         await asyncio.sleep(0)
     try:
         yield app
