--- a/badgeryoke/gateway/application.py
+++ b/badgeryoke/gateway/application.py
@@ -69,7 +69,7 @@
         shutdown, listening = self.lifecycle.shutdown, self.lifecycle.listening
         if shutdown.ending:
             return False, shutdown.state.value
-        if not self.parts.discovery.listed:
+        if not self.parts.discovery.has_list:
             return False, "no list of servers yet"
         return listening, shutdown.state.value if listening else "taking over"
 
--- a/badgeryoke/gateway/dispatcher.py
+++ b/badgeryoke/gateway/dispatcher.py
@@ -12,12 +12,18 @@
 import asyncio
 import logging
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING
 
 from badgeryoke.decisions import interface as api
 from badgeryoke.decisions.policy.engine import DecisionEngine
 from badgeryoke.gateway.actor import Actor, ActorScheduler
 from badgeryoke.gateway.attempt import Attempt, AttemptEnd, Request, Upstream
+from badgeryoke.gateway.decision_module import (
+    Counter,
+    DecisionModule,
+    decision_engine_type,
+    monitored_engine,
+)
 from badgeryoke.gateway.load_shedding import LoadShedder
 from badgeryoke.gateway.metrics import Metrics, RequestResult
 from badgeryoke.gateway.pending_request import PendingRequest, UnservedCause
@@ -44,26 +50,6 @@
 FAULT_LOG_INTERVAL = 1000  # the first fault of the decision module is logged, and each so many-th
 
 
-class Counter(Protocol):
-    """The shared quota counter, as the dispatcher sees it."""
-
-    def add(self, name: int, units: float, life_ms: float, done: Callable[[api.CounterReply], None]) -> None:
-        """Make one call; `done` is called once, later."""
-
-
-class DecisionModule(Protocol):
-    """What decides: the engine, or the engine under a counter-health monitor."""
-
-    def handle(self, now: float, event: api.Event) -> list[api.Action]:
-        """Decide on one event at `now` (Unix ms); gives the actions to execute, in their order."""
-
-    def avoided(self, now: float) -> int:
-        """How many of the listed servers get no requests now."""
-
-    def retune(self, settings: api.Settings) -> None:
-        """Decide by new settings; requests in flight keep what they began with."""
-
-
 class Dispatcher(Actor):
     """Drives one decision module.
 
@@ -86,14 +72,11 @@
         with_reservations: bool = False,
     ) -> None:
         super().__init__(loop)
-        engine_type = _engine_type(with_reservations)
+        engine_type = decision_engine_type(with_reservations)
         self._module: DecisionModule = engine_type(settings, seed)
         self._monitored_engine: MonitoredEngine | None = None
         if monitor_counter:
-            # Loaded only where it is switched on: it costs memory.
-            from badgeryoke.decisions.counter_health.monitored_policy import MonitoredEngine
-
-            self._module = self._monitored_engine = MonitoredEngine(settings, seed, engine_type)
+            self._module = self._monitored_engine = monitored_engine(settings, seed, engine_type)
         self._reserved_admission: ReservedAdmission | None = None
         self._clock, self._find_upstream, self._counter = clock, find_upstream, counter
         self._max_bodies_bytes = max_bodies_bytes
@@ -532,12 +515,3 @@
     def _remove(self, pending: PendingRequest) -> None:
         if self._pending.pop(pending.id, None) is not None:
             self._bodies_bytes -= len(pending.request.body or b"")
-
-
-def _engine_type(with_reservations: bool) -> type[DecisionEngine]:
-    if not with_reservations:
-        return DecisionEngine
-    # Loaded only where reservations are on: it costs memory.
-    from badgeryoke.decisions.priority_admission import PriorityDecisionEngine
-
-    return PriorityDecisionEngine
--- a/badgeryoke/gateway/graceful_shutdown.py
+++ b/badgeryoke/gateway/graceful_shutdown.py
@@ -87,11 +87,6 @@
         self.state = ShutdownState.SERVING
         self.generation = 0  # counts changes of state: a timer of an earlier generation does nothing
 
-    @property
-    def drained(self) -> bool:
-        """Whether clients are sent away, for whatever reason."""
-        return self.state is not ShutdownState.SERVING
-
     @property
     def ending(self) -> bool:
         """Whether there is no way back."""
--- a/badgeryoke/gateway/lifecycle.py
+++ b/badgeryoke/gateway/lifecycle.py
@@ -28,7 +28,7 @@
 if TYPE_CHECKING:
     from badgeryoke.decisions.state_snapshot import StateSnapshot
     from badgeryoke.gateway.admin.server import AdminOperations, AdminServer
-    from badgeryoke.gateway.cluster.connection_leases import DrainableGateway
+    from badgeryoke.gateway.cluster.rolling_restart_duties import DrainableGateway
     from badgeryoke.gateway.cluster.service import ClusterService
     from badgeryoke.gateway.hot_restart.transfer import SnapshotReceiver, SnapshotSender
 
@@ -111,9 +111,9 @@
         parts.cluster = cluster = ClusterService(settings, parts.config.name)
         # A connection is used as long as the longest request on it, and then rests.
         idle_ms = parts.config.idle_ms + parts.longest_deadline_ms
-        leases = ConnectionLeases(settings, parts.loop, cluster.now, idle_ms, drainable)
-        parts.connection_leases = cluster.pools = parts.upstreams.connection_leases = leases
-        cluster.on_floor = parts.dispatcher.enable_reservations
+        leases = ConnectionLeases(settings, parts.loop, cluster.clock.monotonic_ms, idle_ms, drainable)
+        parts.connection_leases = cluster.connection_leases = parts.upstreams.connection_leases = leases
+        cluster.on_reservation_client = parts.dispatcher.enable_reservations
         cluster.start()
 
     def _start_admin_server(self, operations: AdminOperations, address: Address) -> None:
@@ -179,7 +179,7 @@
         path = transfer.socket_path(folder, parts.config.name)
         receiver = transfer.SnapshotReceiver(path)
         until_s = parts.loop.time() + DISCOVERY_WAIT_S  # a snapshot knows servers by discovery's names
-        while not parts.discovery.heard and parts.loop.time() < until_s:
+        while not parts.discovery.notified and parts.loop.time() < until_s:
             await asyncio.sleep(FAST_POLL_INTERVAL_S)
         await self._restore_from(receiver)
         if self.shutdown.ending:
@@ -196,7 +196,7 @@
         parts.dispatcher.restore_snapshot(snapshot, parts.discovery.numbers)
         parts.resp_listener.share(OVERLAP_CLIENTS_FRACTION)
         if parts.connection_leases is not None:
-            parts.connection_leases.alone = False  # the predecessor answers what it has accepted
+            parts.connection_leases.only_process = False  # the predecessor answers what it has accepted
         log.info("state restored: %d customers, %d servers", len(snapshot.ledgers), len(snapshot.peers))
 
     def take_snapshot(self) -> StateSnapshot | str:
@@ -222,7 +222,7 @@
             log.info("ending: %d unanswered", parts.dispatcher.unanswered)
             if parts.cluster is not None:
                 if parts.connection_leases is not None:
-                    parts.connection_leases.leave()
+                    parts.connection_leases.drain()
                 self._run_task(parts.cluster.leave())
         self._terminated_at_s = min(self._terminated_at_s, parts.loop.time())
         self.post(ShutdownEvent.TERMINATE)
@@ -316,7 +316,7 @@
         """The last reports have the time that any call has: closed at once, they would be cut off."""
         loop, counter = self._parts.loop, self._parts.counter
         if counter is not None:
-            if counter.busy and loop.time() < until_s:
+            if counter.has_pending_calls and loop.time() < until_s:
                 loop.call_later(POLL_INTERVAL_S, self._poll_reports, until_s)
                 return
             counter.close()
@@ -337,9 +337,9 @@
         """Hand over what this gateway leads in the cluster, in a time that is bounded."""
         leases, loop = self._parts.connection_leases, self._parts.loop
         if leases is not None:
-            leases.leave()
+            leases.drain()
             until_s = loop.time() + LEASE_RETURN_S
-            while not leases.empty and loop.time() < until_s:
+            while not leases.is_empty and loop.time() < until_s:
                 await asyncio.sleep(FAST_POLL_INTERVAL_S)
         await cluster.leave()
         cluster.close()
--- a/badgeryoke/gateway/parts.py
+++ b/badgeryoke/gateway/parts.py
@@ -13,7 +13,8 @@
 from badgeryoke.gateway.config.platform_file import Config
 from badgeryoke.gateway.diameter.client_connection import DiameterListener
 from badgeryoke.gateway.diameter.peer import PeerIdentity
-from badgeryoke.gateway.discovery.client import DiscoveryClient, Endpoint
+from badgeryoke.gateway.discovery.client import DiscoveryClient
+from badgeryoke.gateway.discovery.endpoint_list import Endpoint
 from badgeryoke.gateway.dispatcher import Dispatcher
 from badgeryoke.gateway.quota_counter.client import QuotaCounterClient
 from badgeryoke.gateway.resp.listener import RespListener
@@ -92,12 +93,29 @@
         config.operators.counter_watch.enabled,
         config.operators.fleet is not None,
     )
+    discovery = _discovery_client(config, loop, upstreams, dispatcher)
+    return GatewayParts(
+        config,
+        loop,
+        clock,
+        counter,
+        stream_budget,
+        upstreams,
+        dispatcher,
+        discovery,
+        _resp_listener(config, dispatcher, loop, discovery, buffer_bytes),
+        _diameter_listener(config, identity, dispatcher, loop, clock),
+    )
 
+
+def _discovery_client(
+    config: Config, loop: ActorScheduler, upstreams: UpstreamDirectory, dispatcher: Dispatcher
+) -> DiscoveryClient:
     def update_endpoints(members: EndpointList, endpoints: dict[int, Endpoint]) -> None:
-        upstreams.update_endpoints(endpoints)  # before the decision module hears of the list
+        upstreams.update_endpoints(endpoints)  # before the decision module is notified of the list
         dispatcher.update_endpoints(members)
 
-    discovery = DiscoveryClient(
+    return DiscoveryClient(
         config.discovery,
         config.known,
         loop,
@@ -105,7 +123,16 @@
         config.settings.gateway_count,
         random.Random(config.seed).random,
     )
-    resp_listener = RespListener(
+
+
+def _resp_listener(
+    config: Config,
+    dispatcher: Dispatcher,
+    loop: ActorScheduler,
+    discovery: DiscoveryClient,
+    buffer_bytes: int,
+) -> RespListener:
+    return RespListener(
         dispatcher,
         loop,
         int(config.sockets * RESP_CLIENTS_FRACTION),
@@ -113,18 +140,6 @@
         int(buffer_bytes * PARTIAL_COMMANDS_FRACTION),
         int(config.sockets * CROWDED_CLIENTS_FRACTION),
     )
-    return GatewayParts(
-        config,
-        loop,
-        clock,
-        counter,
-        stream_budget,
-        upstreams,
-        dispatcher,
-        discovery,
-        resp_listener,
-        _diameter_listener(config, identity, dispatcher, loop, clock),
-    )
 
 
 def _diameter_identity(config: Config) -> PeerIdentity | None:
--- a/badgeryoke/gateway/reload.py
+++ b/badgeryoke/gateway/reload.py
@@ -60,11 +60,11 @@
 
 def _apply(parts: GatewayParts) -> None:
     config, settings = parts.config, parts.config.settings
-    parts.discovery.move(config.discovery)
-    parts.discovery.retune(settings.gateway_count)
+    parts.discovery.switch_address(config.discovery)
+    parts.discovery.update_settings(settings.gateway_count)
     if parts.counter is not None and config.counter is not None:
-        parts.counter.move(config.counter)
-        parts.counter.retune(settings.counter_timeout_ms)
+        parts.counter.switch_address(config.counter)
+        parts.counter.update_settings(settings.counter_timeout_ms)
     parts.upstreams.update_settings(config)
     if parts.diameter_listener is not None:
         parts.diameter_listener.register.retune(settings)
--- a/badgeryoke/gateway/upstream_directory.py
+++ b/badgeryoke/gateway/upstream_directory.py
@@ -10,12 +10,13 @@
 from badgeryoke.gateway.config.platform_file import Config
 from badgeryoke.gateway.diameter.peer import PeerIdentity
 from badgeryoke.gateway.diameter.upstream_connection import DiameterUpstream
-from badgeryoke.gateway.discovery.client import Endpoint
+from badgeryoke.gateway.discovery.endpoint_list import Endpoint
 from badgeryoke.gateway.resp.upstream_connection import RespUpstream
 from badgeryoke.gateway.response_stream import BufferBudget
 
 if TYPE_CHECKING:
-    from badgeryoke.gateway.cluster.connection_leases import ConnectionLeases, UpstreamLease
+    from badgeryoke.gateway.cluster.connection_leases import ConnectionLeases
+    from badgeryoke.gateway.cluster.upstream_lease import UpstreamLease
 
 UPSTREAM_DESCRIPTORS_FRACTION = 0.3  # of the process's descriptors, shared out over the listed servers
 MIN_CONNECTIONS_PER_SERVER = 4
@@ -72,7 +73,7 @@
         max_connections = max(descriptors // max(len(endpoints), 1), MIN_CONNECTIONS_PER_SERVER)
         self._close_unlisted(endpoints)
         if self.connection_leases is not None:
-            self.connection_leases.listed(endpoint.id for endpoint in endpoints.values())
+            self.connection_leases.update_servers(endpoint.id for endpoint in endpoints.values())
         for number, endpoint in endpoints.items():
             if number not in self.by_number:
                 upstream = self._open(endpoint, max_connections)
@@ -90,19 +91,19 @@
             if new is None or (new.address, new.kind) != (old.address, old.kind):
                 upstream.drain()
                 if self.connection_leases is not None and upstream.lease is not None:
-                    self.connection_leases.forget(upstream.lease)
+                    self.connection_leases.retire(upstream.lease)
                 del self.by_number[number]
 
     def _open(self, endpoint: Endpoint, max_connections: int) -> UpstreamConnection:
         diameter = self._config.diameter
-        lease = None if self.connection_leases is None else self.connection_leases.lease(endpoint.id)
+        lease = None if self.connection_leases is None else self.connection_leases.create_lease(endpoint.id)
         upstream: UpstreamConnection
         if diameter is not None and endpoint.kind in diameter.server_kinds:
             upstream = self._open_diameter(endpoint, diameter.watchdog_s, lease)
         else:
             upstream = self._open_resp(endpoint, max_connections, lease)
         if lease is not None:
-            lease.link = upstream
+            lease.upstream = upstream
         return upstream
 
     def _open_diameter(
--- a/badgeryoke/testbed/cluster_benchmark.py
+++ b/badgeryoke/testbed/cluster_benchmark.py
@@ -56,12 +56,12 @@
 class Wanting:
     """A server link in whose use connections are."""
 
-    need = 2
+    connections_needed = 2
 
-    def shrink(self, many: int, all_: bool) -> None:
+    def close_connections(self, count: int, include_in_use: bool) -> None:
         """None is open."""
 
-    def grown(self) -> None:
+    def capacity_available(self) -> None:
         """None is dialled."""
 
 
@@ -91,12 +91,14 @@
     await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
     service = ClusterService(fleet, fleet.me)
     if pools:
-        service.pools = ConnectionLeases(fleet, ActorScheduler(loop), service.now, 30_000.0, Idle())
-        service.pools.listed(f"s{at}" for at in range(SERVERS))
+        service.connection_leases = ConnectionLeases(
+            fleet, ActorScheduler(loop), service.clock.monotonic_ms, 30_000.0, Idle()
+        )
+        service.connection_leases.update_servers(f"s{at}" for at in range(SERVERS))
         for at in range(SERVERS):
-            lease = service.pools.lease(f"s{at}")
+            lease = service.connection_leases.create_lease(f"s{at}")
             assert lease is not None
-            lease.link = Wanting()
+            lease.upstream = Wanting()
     service.start()
     profile: cProfile.Profile | None = None
     while line := await reader.readline():
@@ -123,7 +125,7 @@
     """Promise without a pause, so many under way; ms that each acknowledged one took."""
     took: list[float] = []
     until = time.monotonic() + seconds
-    prefix = f"{service.me}-{time.monotonic_ns()}"
+    prefix = f"{service.member}-{time.monotonic_ns()}"
 
     async def one(which: int) -> None:
         at = 0
--- a/tests/gateway/diameter/test_diameter.py
+++ b/tests/gateway/diameter/test_diameter.py
@@ -23,8 +23,8 @@
 from badgeryoke.gateway.diameter.upstream_connection import DiameterUpstream
 from badgeryoke.gateway.wall_clock import WallClock
 from tests.gateway.resp.test_client_connection import ask, play
-from tests.gateway.test_dispatcher import FakeLoop
 from tests.gateway.test_service import until
+from tests.support.dispatcher_bench import FakeLoop
 from tests.support.stand_ins import (
     KEYED,
     NOW_MS,
--- a/tests/gateway/resp/test_client_connection.py
+++ b/tests/gateway/resp/test_client_connection.py
@@ -9,7 +9,7 @@
 import subprocess
 import sys
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from pathlib import Path
 
 import pytest
@@ -17,12 +17,13 @@
 
 from badgeryoke.decisions import interface as api
 from badgeryoke.gateway.actor import ActorScheduler
-from badgeryoke.gateway.application import GatewayApplication
 from badgeryoke.gateway.attempt import Request
 from badgeryoke.gateway.resp.client_connection import MOST_WAITING, RespClientConnection
 from badgeryoke.gateway.wall_clock import WallClock
 from tests.decisions.test_simulator_adapter import PARAMS
 from tests.support.paths import ROOT
+from tests.support.running import ask as ask
+from tests.support.running import play as play
 from tests.support.stand_ins import (
     Backend,
     Counter,
@@ -39,21 +40,6 @@
 )
 
 
-def play(test: Callable[[], Awaitable[None]]) -> None:
-    async def bounded() -> None:
-        await asyncio.wait_for(test(), 60)  # only so that a fault does not hang the run
-
-    asyncio.run(bounded())
-
-
-async def ask(app: GatewayApplication, *commands: bytes) -> list[object]:
-    reader, writer = await connect(app.lifecycle.address)
-    writer.write(b"".join(commands))
-    answers = [await read_reply(reader) for _ in commands]
-    writer.close()
-    return answers
-
-
 def test_a_query_is_passed_on_unchanged_and_its_value_comes_back() -> None:
     async def test() -> None:
         async with Counter() as counter, one_gateway(counter=counter.port) as (app, node, _):
@@ -310,7 +296,7 @@
     class Core:
         taken = 0
 
-        def problem(self, query: Request) -> None:
+        def validate(self, query: Request) -> None:
             return None
 
         def submit(self, query: Request, answer: object) -> Callable[[], None]:
--- a/tests/gateway/resp/test_connection_close.py
+++ b/tests/gateway/resp/test_connection_close.py
@@ -136,7 +136,7 @@
 
     taken = 0
 
-    def problem(self, query: Request) -> None:
+    def validate(self, query: Request) -> None:
         return None
 
     def submit(self, query: Request, answer: object) -> Callable[[], None]:
@@ -279,7 +279,7 @@
     def __init__(self) -> None:
         self.given: list[Callable[[Response], None]] = []
 
-    def problem(self, _: Request) -> None:
+    def validate(self, _: Request) -> None:
         return None
 
     def submit(self, _: Request, answer: Callable[[Response], None]) -> Callable[[], None]:
--- a/tests/gateway/resp/test_retries.py
+++ b/tests/gateway/resp/test_retries.py
@@ -30,8 +30,8 @@
 from badgeryoke.gateway.resp.upstream_connection import BEGUN_MS, RespUpstream
 from badgeryoke.gateway.responses import Response
 from tests.gateway.resp.test_client_connection import ask, play
-from tests.gateway.test_dispatcher import KEYED, UNSAFE, NoCounter
 from tests.gateway.test_service import until
+from tests.support.dispatcher_bench import KEYED_CLASS, NOT_IDEMPOTENT_CLASS, NoCounter
 from tests.support.stand_ins import HOST, NOW_MS, Counter, connect, one_gateway, query, settings
 
 LINGER_0 = struct.pack("ii", 1, 0)
@@ -418,10 +418,12 @@
     async def test() -> None:
         async with node() as at:
             made = await at.idle()
-            lease = at.link.lease = SimpleNamespace(held=lambda: False, may_open=lambda: False, surplus=0)  # type: ignore
+            lease = at.link.lease = SimpleNamespace(
+                is_held=lambda: False, may_open=lambda: False, surplus_count=0
+            )  # type: ignore
             at.start("r2")
-            lease.held = lambda: True
-            at.link.grown()
+            lease.is_held = lambda: True
+            at.link.capacity_available()
             assert b"r2" in await read(made, b"r2") and await at.accepts_none()
 
     play(test)
@@ -503,7 +505,7 @@
     async with node() as first, node() as second:
         second.loop = second.link._loop = first.loop
         made = Dispatcher(
-            settings(has_counter=False, classes=(KEYED, UNSAFE)),
+            settings(has_counter=False, classes=(KEYED_CLASS, NOT_IDEMPOTENT_CLASS)),
             1,
             first.loop,
             lambda: NOW_MS,
--- a/tests/gateway/test_faults_by_stage.py
+++ b/tests/gateway/test_faults_by_stage.py
@@ -19,8 +19,7 @@
 from badgeryoke.decisions.policy.engine import DecisionEngine
 from badgeryoke.gateway import connecting
 from badgeryoke.gateway.application import GatewayApplication
-from tests.gateway.resp.test_client_connection import play
-from tests.gateway.test_service import until
+from tests.support.running import play, until
 from tests.support.stand_ins import (
     HOST,
     KEYED,
@@ -131,7 +130,7 @@
         counter = self.app.parts.counter
         assert counter is not None
         counter._closing = True
-        for one in list(counter._all):
+        for one in list(counter._connections):
             one.stream.close()
         self.app.parts.discovery.stop()
         self.app.parts.dispatcher._module = cast(Any, type("Dead", (), {"handle": lambda *_: []})())
@@ -146,7 +145,9 @@
         Discovery(entry("a", node.port)) as list_,
     ):
         made = World(node, counter, moved, list_)
-        await until(lambda: made.app.parts.counter and made.app.parts.counter._used and len(list_.calls) >= 2)
+        await until(
+            lambda: made.app.parts.counter and made.app.parts.counter._active and len(list_.calls) >= 2
+        )
         try:
             yield made
         finally:
@@ -224,7 +225,9 @@
 async def report_answered(at: World) -> None:
     await units_gathered(at)
     at.app.parts.dispatcher.flush_timers()
-    await until(lambda: at.counter.units == 3 and at.app.parts.counter and not at.app.parts.counter.busy)
+    await until(
+        lambda: at.counter.units == 3 and at.app.parts.counter and not at.app.parts.counter.has_pending_calls
+    )
 
 
 # Faults -----------------------------------------------------------------------------------------------
@@ -267,7 +270,9 @@
     at.crash()
     await asyncio.sleep(0)
     at.app = at.start()
-    await until(lambda: at.app.parts.counter and at.app.parts.counter._used and at.app.parts.discovery.ready)
+    await until(
+        lambda: at.app.parts.counter and at.app.parts.counter._active and at.app.parts.discovery.ready
+    )
 
 
 STAGES = [
@@ -302,7 +307,9 @@
 
 @pytest.mark.parametrize("fault", FAULTS, ids=lambda one: one.__name__)
 @pytest.mark.parametrize("stage", STAGES, ids=lambda one: one.__name__)
-def test_whatever_fails_the_rules_hold(stage: Any, fault: Any, monkeypatch: pytest.MonkeyPatch) -> None:
+def test_invariants_hold_at_each_stage_under_each_fault(
+    stage: Any, fault: Any, monkeypatch: pytest.MonkeyPatch
+) -> None:
     real = connecting.new_socket
 
     def small(address: tuple[str, int]) -> socket.socket:
@@ -333,7 +340,7 @@
                 at.app = at.start()
                 await until(
                     lambda: (
-                        at.app.parts.counter and at.app.parts.counter._used and at.app.parts.discovery.ready
+                        at.app.parts.counter and at.app.parts.counter._active and at.app.parts.discovery.ready
                     )
                 )
             elif fault is server_drained:
@@ -342,7 +349,7 @@
                 return
             # The quota is neither passed nor lost: what is left of it is let through, and no more.
             await until(
-                lambda: at.app.parts.counter and at.app.parts.counter._used and at.app.parts.discovery.ready
+                lambda: at.app.parts.counter and at.app.parts.counter._active and at.app.parts.discovery.ready
             )
             for n in range(BURST + 4):
                 at.module._quota._chance = 1.0  # the counter is sound again, and asked
--- a/tests/gateway/test_hot_restart.py
+++ b/tests/gateway/test_hot_restart.py
@@ -20,9 +20,8 @@
 from badgeryoke.gateway.config.platform_file import Config
 from badgeryoke.gateway.graceful_shutdown import ShutdownState
 from badgeryoke.gateway.hot_restart import transfer
-from tests.gateway.resp.test_client_connection import play
-from tests.gateway.test_service import until
 from tests.support import samples
+from tests.support.running import play, until
 from tests.support.stand_ins import (
     HOST,
     NOW_MS,
@@ -56,7 +55,7 @@
     return made, sent.server
 
 
-def test_a_successor_goes_on_from_the_same_stores_and_servers() -> None:
+def test_a_successor_continues_with_the_same_quotas_and_servers() -> None:
     old, server = used()
     now = samples.START + 50.0
     handed = state_snapshot.take_snapshot(old, {n: f"s{n}" for n in range(1, 5)})
@@ -84,7 +83,7 @@
     assert old._quota._ledgers[8].head.room(now) == -math.inf  # the headroom is the successor's
 
 
-def test_what_does_not_fit_the_settings_is_left_out() -> None:
+def test_snapshot_entries_unknown_to_the_settings_are_left_out() -> None:
     old, _ = used()
     handed = state_snapshot.take_snapshot(old, {})
     new = samples.gateway(plans=(replace(samples.PLAIN, burst=40.0),))  # another period, and one plan less
@@ -101,7 +100,7 @@
         lambda head, body: (head, b"\0" * len(body)),
     ],
 )
-def test_a_spoilt_or_unknown_state_is_not_taken(spoil: Any) -> None:
+def test_a_damaged_or_unknown_snapshot_is_not_restored(spoil: Any) -> None:
     head, body = state_snapshot.encode(state_snapshot.take_snapshot(used()[0], {1: "s1"})).split(b"\n", 1)
     head, body = spoil(head, body)
     with pytest.raises(ValueError):
@@ -154,7 +153,7 @@
     return answer
 
 
-def test_replacements_in_a_row_lose_nothing_and_charge_each_unit_once(tmp_path: Path) -> None:
+def test_hot_restarts_in_a_row_lose_nothing_and_charge_each_unit_once(tmp_path: Path) -> None:
     """Queries go on while one process after another takes over: each has its answer on the connection it came
     by, and the counter has been told of what the servers were sent."""
 
@@ -191,7 +190,7 @@
 
 
 @pytest.mark.parametrize("said", [TAKE, TAKE + b"NONSENSE\n", b"TAKE 9\n", b"x" * 2000])
-def test_a_new_process_that_breaks_off_leaves_the_old_one_in_service(said: bytes, tmp_path: Path) -> None:
+def test_a_successor_that_breaks_off_leaves_the_predecessor_serving(said: bytes, tmp_path: Path) -> None:
     async def test() -> None:
         async with platform(tmp_path) as (made, _, _counter):
             app = await started(made)
@@ -212,7 +211,7 @@
 
 
 @pytest.mark.parametrize("left", ["stale", "spoilt", "silent", "file"])
-def test_without_a_sound_predecessor_it_starts_as_after_a_crash(
+def test_without_a_valid_predecessor_it_starts_as_after_a_crash(
     left: str, tmp_path: Path, caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     monkeypatch.setattr(transfer, "STEP_TIMEOUT_S", 0.1)
@@ -246,7 +245,7 @@
     assert "starting as after a crash" in caplog.text
 
 
-def test_a_long_folder_and_an_odd_name_still_make_an_address(tmp_path: Path) -> None:
+def test_a_long_folder_and_an_odd_name_still_make_a_socket_path(tmp_path: Path) -> None:
     folder = tmp_path / ("d" * 120)
     folder.mkdir()
 
--- a/tests/gateway/test_operations.py
+++ b/tests/gateway/test_operations.py
@@ -27,8 +27,7 @@
 from badgeryoke.gateway.metrics import Metrics
 from badgeryoke.gateway.resp import client_connection as client_link_module
 from tests.decisions.test_simulator_adapter import PARAMS
-from tests.gateway.resp.test_client_connection import ask, play
-from tests.gateway.test_service import until
+from tests.support.running import ask, play, until
 from tests.support.stand_ins import (
     HOST,
     Backend,
@@ -93,7 +92,7 @@
         (b"*1\r\n$4\r\nPING\r\n", "-ERR unknown"),
     ],
 )
-def test_each_line_gets_one_answer(line: bytes, begins: str) -> None:
+def test_each_admin_line_gets_one_response(line: bytes, begins: str) -> None:
     async def test() -> None:
         async with operated() as (app, _):
             assert (await call(app, line))[0].startswith(begins)
@@ -103,7 +102,7 @@
     play(test)
 
 
-def test_callers_that_finish_no_call_hold_up_nobody(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_admin_callers_that_finish_no_line_do_not_block_others(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(management_front, "MOST_CALLERS", 4)
 
     async def test() -> None:
@@ -120,7 +119,7 @@
     play(test)
 
 
-def test_status_says_no_until_a_list_is_known_and_when_it_ends() -> None:
+def test_status_is_an_error_until_an_endpoint_list_is_known_and_while_ending() -> None:
     async def test() -> None:
         async with Discovery() as list_:
             list_.raw = [b"no list"]
@@ -137,7 +136,7 @@
     ("mgmt", "words"),
     [("nowhere", "mgmt: expected IP:PORT"), (f"{HOST}:6379", "mgmt: the same address as listen")],
 )
-def test_a_faulty_second_address_names_its_key(mgmt: str, words: str, tmp_path: Path) -> None:
+def test_a_faulty_admin_address_names_its_key(mgmt: str, words: str, tmp_path: Path) -> None:
     raw = {"listen": f"{HOST}:6379", "discovery": f"{HOST}:1", "counter": f"{HOST}:1", "settings": PARAMS}
     path = tmp_path / "config.json"
     path.write_text(json.dumps({**raw, "mgmt": mgmt}))
@@ -164,7 +163,7 @@
     assert 'lane="b"' in text and "\nlb_pending 1\nlb_members 2\nlb_members_unavailable 3\n" in text
 
 
-def test_each_way_a_query_can_end_counts_once() -> None:
+def test_each_result_of_a_request_is_counted_once() -> None:
     """Served, refused for a quota, failed after an error and after a reset: what stand-ins saw and what the
     figures say are equal."""
 
@@ -209,7 +208,7 @@
 # The drain --------------------------------------------------------------------------------------------
 
 
-def test_the_drain_ends_in_one_way_from_every_state() -> None:
+def test_graceful_shutdown_ends_once_from_every_state() -> None:
     """Whatever came before, SIGTERM and its timers lead to the end; and nothing leads back from there."""
     for start in ShutdownState:
         drain = GracefulShutdown()
@@ -230,7 +229,7 @@
     assert leaves == {ShutdownState.DRAINING, ShutdownState.REPORTING}
 
 
-def test_a_timer_of_an_earlier_round_does_nothing() -> None:
+def test_a_timer_of_an_earlier_generation_does_nothing() -> None:
     drain = GracefulShutdown()
     drain.post(ShutdownEvent.PAUSE)
     old = drain.generation
@@ -241,7 +240,7 @@
     assert drain.post(ShutdownEvent.PAUSE) == () and drain.state.value == "drained"
 
 
-def test_pause_sends_clients_away_between_requests_and_resume_takes_them_again() -> None:
+def test_pause_closes_connections_between_requests_and_resume_accepts_again() -> None:
     async def test() -> None:
         async with operated(script=[None], drain_s=0.05) as (app, node):
             busy_reader, busy = await connect(app.lifecycle.address)
@@ -272,7 +271,7 @@
     play(test)
 
 
-def test_a_client_that_never_stops_asking_is_cut_off_behind_an_answer(
+def test_a_client_that_never_stops_sending_is_closed_after_a_response(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     monkeypatch.setattr(client_link_module, "END_TAKES_S", 0.1)
@@ -301,7 +300,7 @@
     play(test)
 
 
-def test_sigterm_while_paused_and_pause_while_it_ends() -> None:
+def test_sigterm_while_paused_and_pause_while_ending() -> None:
     async def test() -> None:
         async with operated(drain_s=0.05) as (app, _):
             await call(app, b"PAUSE\n")
@@ -313,7 +312,7 @@
     play(test)
 
 
-def test_what_comes_behind_a_long_query_while_the_gateway_ends_gets_its_answer(
+def test_a_request_behind_a_long_one_gets_its_response_while_the_gateway_ends(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Read and dropped where the connection had stayed open for longer than it takes queries."""
@@ -335,7 +334,7 @@
     play(test)
 
 
-def test_a_connection_idle_for_long_is_closed_whole_so_that_nothing_is_read_and_dropped() -> None:
+def test_a_long_idle_connection_is_closed_completely_so_that_nothing_is_read_and_dropped() -> None:
     async def test() -> None:
         async with operated(drain_s=0.05) as (app, _):
             reader, writer = await connect(app.lifecycle.address)
--- a/tests/gateway/test_reload.py
+++ b/tests/gateway/test_reload.py
@@ -16,9 +16,8 @@
 from badgeryoke.gateway.application import GatewayApplication
 from badgeryoke.gateway.config.platform_file import Config, ConfigError, lacking, read_config, shape
 from tests.decisions.test_simulator_adapter import PARAMS
-from tests.gateway.resp.test_client_connection import ask, play
-from tests.gateway.test_service import until
 from tests.support import samples
+from tests.support.running import ask, play, until
 from tests.support.stand_ins import (
     HOST,
     KEYED,
@@ -70,7 +69,7 @@
 
 
 @pytest.mark.parametrize("text", ["", "{", json.dumps(RAW)[:-40], "[]", "null"])
-def test_an_empty_or_cut_file_is_turned_down(text: str, tmp_path: Path) -> None:
+def test_an_empty_or_truncated_file_is_rejected(text: str, tmp_path: Path) -> None:
     file = tmp_path / "config.json"
     file.write_text(text)
     with pytest.raises(ConfigError, match="LB_CONFIG"):
@@ -90,7 +89,7 @@
         "settings.contracts",
     ],
 )
-def test_a_file_that_lacks_a_key_is_turned_down_by_its_name(path: str) -> None:
+def test_a_file_without_a_required_key_is_rejected_by_its_name(path: str) -> None:
     missing = lacking(shape(RAW), shape(at(RAW, path)))
     assert missing == ".".join(part for part in path.split(".") if not part.isdigit())
     assert lacking(shape(RAW), shape({**RAW, "more": 1})) is None
@@ -110,7 +109,7 @@
             await app.done.wait()
 
 
-def test_classes_come_go_and_change_effect_while_open_queries_keep_theirs() -> None:
+def test_classes_come_go_and_change_idempotency_while_pending_requests_keep_theirs() -> None:
     """`load-send` becomes safe to repeat, `balance-check` goes, `fresh` comes, one attempt is left."""
     classes = (
         replace(KEYED, idempotency=api.Idempotency.IDEMPOTENT, deadline_ms=70_000.0),
@@ -142,7 +141,7 @@
     play(lambda: reloading(new, test, Backend(script=[None])))
 
 
-def test_attempts_become_fewer_for_new_queries_alone() -> None:
+def test_a_lower_attempt_limit_applies_to_new_requests_only() -> None:
     def new(made: Config) -> Config:
         return replace(made, settings=made_settings(has_counter=False, max_attempts=1))
 
@@ -154,7 +153,7 @@
     play(lambda: reloading(new, test, Backend(script=[b"-BUSY\r\n"])))
 
 
-def test_a_file_turned_down_changes_nothing_and_two_in_a_row_are_taken() -> None:
+def test_a_rejected_file_changes_nothing_and_two_valid_ones_in_a_row_are_applied() -> None:
     files: list[Config | ConfigError] = []
 
     def new(made: Config) -> Config:
@@ -179,7 +178,9 @@
         assert (app.parts.dispatcher.metrics.reloads, app.parts.dispatcher.metrics.reload_errors) == (2, 2)
         app.pause()
         files[:] = [one]
-        assert app.parts.discovery.longest == 2.0  # the fleet has grown, for discovery as well
+        assert (
+            app.parts.discovery.backoff.longest_pause_s == 2.0
+        )  # the fleet has grown, for discovery as well
         app.reload()  # during a drain
         app.resume()
         assert "syntax" in str(await ask(app, query("gone", "load-send", key="k3")))
@@ -210,7 +211,7 @@
     assert led.quota.room(now) == pytest.approx(room)
 
 
-def test_a_call_that_is_out_is_answered_before_the_new_plan_is_taken_up() -> None:
+def test_a_counter_call_in_flight_is_answered_before_the_new_plan_applies() -> None:
     made = samples.gateway()
     now = samples.START
     [count] = samples.only(made.handle(now, samples.request("a")), api.AddToCounter)
--- a/tests/gateway/test_response_stream.py
+++ b/tests/gateway/test_response_stream.py
@@ -16,8 +16,7 @@
     BufferBudget,
     ResponseStream,
 )
-from tests.gateway.resp.test_client_connection import ask, play
-from tests.gateway.test_service import until
+from tests.support.running import ask, play, until
 from tests.support.stand_ins import connect, one_gateway, query
 
 TAIL = b"\r\n$13\r\nused=1,cost=2\r\n$23\r\ninflight=1,latency_ms=9\r\n"
@@ -32,7 +31,7 @@
 
 @pytest.mark.parametrize("step", [1000, 4097, 65536, 10**9])
 @pytest.mark.parametrize("size", [MAX_BULK + 1, 300_000])
-def test_a_long_value_comes_in_pieces_however_it_is_cut(size: int, step: int) -> None:
+def test_a_long_value_is_parsed_in_pieces_however_it_is_split(size: int, step: int) -> None:
     parser, sent, got = RespParser(max_items=8, max_long=MAX_LONG), value(size), []
     data = b"*3\r\n$%d\r\n" % size + sent + TAIL
     values: list[Any] = []
@@ -56,13 +55,13 @@
         (b"*1\r\n$70000\r\n" + b"x" * 70000 + b"yy", "bulk string without its line end"),
     ],
 )
-def test_what_is_no_long_value_is_a_fault(data: bytes, fault: str) -> None:
+def test_a_malformed_long_value_is_a_protocol_fault(data: bytes, fault: str) -> None:
     parser = RespParser(max_items=8, max_long=MAX_LONG)
     parser.feed(data)
     assert parser.fault == fault
 
 
-def test_the_room_is_shared_out_and_never_below_the_least() -> None:
+def test_the_budget_is_shared_out_and_never_below_the_minimum_window() -> None:
     room = BufferBudget(4 * MAX_WINDOW_BYTES)
     relays = [ResponseStream(1, room) for _ in range(4)]
     assert room.window_bytes == MAX_WINDOW_BYTES
@@ -76,7 +75,7 @@
     assert room.open_streams == 0
 
 
-def test_a_relay_gives_room_back_as_it_is_taken_from() -> None:
+def test_a_response_stream_frees_capacity_as_it_is_read() -> None:
     relay, told = ResponseStream(10, BufferBudget(8 * 1024)), []
     relay.on_capacity = lambda: told.append(relay.buffered_bytes)
     relay.append(b"a" * 5000)
@@ -91,7 +90,7 @@
 # On sockets -------------------------------------------------------------------------------------------
 
 
-def test_a_long_value_goes_through_whole_between_small_ones_and_its_figures_count() -> None:
+def test_a_long_value_passes_completely_between_small_ones_and_is_counted() -> None:
     async def test() -> None:
         big = value(MAX_LONG)
         script = [b"*3\r\n$%d\r\n" % MAX_LONG + big + TAIL, b"*1\r\n$5\r\nsmall\r\n"]
@@ -106,7 +105,7 @@
     play(test)
 
 
-def test_the_first_bytes_go_on_at_once_and_the_rest_as_it_comes() -> None:
+def test_the_first_bytes_are_forwarded_at_once_and_the_rest_as_it_comes() -> None:
     async def test() -> None:
         async with one_gateway(script=[None]) as (app, node, _):
             reader, writer = await connect(app.lifecycle.address)
@@ -126,7 +125,7 @@
     play(test)
 
 
-def test_a_slow_reader_holds_back_its_server_and_nobody_else() -> None:
+def test_a_slow_reader_applies_backpressure_to_its_server_only() -> None:
     async def test() -> None:
         big = value(MAX_LONG)
         async with one_gateway(script=[b"*3\r\n$%d\r\n" % MAX_LONG + big + TAIL]) as (app, _, _list):
@@ -153,9 +152,7 @@
 
 
 @pytest.mark.parametrize("how", ["reset", "stall", "spoilt"])
-def test_a_value_that_breaks_midway_ends_so_that_the_client_can_tell(
-    how: str, monkeypatch: pytest.MonkeyPatch
-) -> None:
+def test_an_aborted_value_ends_so_that_the_client_can_tell(how: str, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(server_link_module, "STALLED_MS", 100.0 if how == "stall" else 60_000.0)
 
     async def test() -> None:
@@ -184,7 +181,7 @@
     play(test)
 
 
-def test_a_client_that_leaves_in_the_middle_ends_the_attempt() -> None:
+def test_a_client_that_disconnects_midway_ends_the_attempt() -> None:
     async def test() -> None:
         async with one_gateway(script=[None]) as (app, node, _):
             reader, writer = await connect(app.lifecycle.address)
--- a/tests/gateway/test_service.py
+++ b/tests/gateway/test_service.py
@@ -10,7 +10,6 @@
 import socket
 import subprocess
 import sys
-from collections.abc import Callable
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
@@ -26,9 +25,10 @@
 from badgeryoke.gateway.resp.client_connection import MOST_FAULTS
 from badgeryoke.gateway.resp.upstream_connection import RespUpstream, settle
 from tests.decisions.test_simulator_adapter import PARAMS
-from tests.gateway.resp.test_client_connection import ask, play
 from tests.gateway.test_counter_and_discovery import Calls
 from tests.support.paths import ROOT
+from tests.support.running import ask, play
+from tests.support.running import until as until
 from tests.support.stand_ins import (
     HOST,
     NOW_MS,
@@ -48,12 +48,7 @@
 # Reload -----------------------------------------------------------------------------------------------
 
 
-async def until(true: Callable[[], Any]) -> None:
-    while not true():
-        await asyncio.sleep(0)
-
-
-def test_a_reload_moves_discovery_and_counter_and_costs_no_query_nor_charge() -> None:
+def test_a_reload_moves_discovery_and_counter_and_loses_no_request_or_charge() -> None:
     async def test() -> None:
         async with (
             Backend(script=[None]) as node,
@@ -93,7 +88,7 @@
     play(test)
 
 
-def test_a_faulty_configuration_is_not_taken_on_reload(caplog: pytest.LogCaptureFixture) -> None:
+def test_a_faulty_configuration_is_not_applied_on_reload(caplog: pytest.LogCaptureFixture) -> None:
     def faulty() -> Config:
         raise ConfigError("counter: expected IP:PORT, got 'nowhere'")
 
@@ -113,7 +108,7 @@
     assert "counter: expected IP:PORT" in caplog.text
 
 
-def test_the_program_takes_up_a_new_file_on_sighup(tmp_path: Path) -> None:
+def test_the_program_applies_a_new_file_on_sighup(tmp_path: Path) -> None:
     """SIGHUP ended the process; and the environment's old address went before the new file's."""
     path = tmp_path / "config.json"
     with socket.socket() as free, socket.create_server((HOST, 0)) as discovery:
@@ -172,7 +167,7 @@
         b"$3000000000\r\n4",
     ],
 )
-def test_a_spoilt_total_was_added_and_ends_its_connection(spoilt: bytes) -> None:
+def test_a_malformed_counter_total_was_added_and_ends_its_connection(spoilt: bytes) -> None:
     """After an answer that was no total the connection was used on, and later calls got the wrong answers."""
 
     async def test() -> None:
@@ -198,7 +193,7 @@
 # Clients ----------------------------------------------------------------------------------------------
 
 
-def test_an_idle_connection_gives_way_to_a_new_one(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_an_idle_connection_is_closed_for_a_new_one(monkeypatch: pytest.MonkeyPatch) -> None:
     """Clients that asked once and stayed held every place, and all that came after were turned away."""
     monkeypatch.setattr(parts, "RESP_CLIENTS_FRACTION", 3 / 1024)
     monkeypatch.setattr(front_module, "GIVE_WAY_S", 0.0)
@@ -221,7 +216,7 @@
     play(test)
 
 
-def test_a_crowd_of_clients_that_ask_once_each_is_served(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_many_clients_with_one_request_each_are_served(monkeypatch: pytest.MonkeyPatch) -> None:
     """A connection had to be idle for 2 s to give way: a hundred new ones a second filled all places."""
     monkeypatch.setattr(parts, "RESP_CLIENTS_FRACTION", 2 / 1024)
 
@@ -240,7 +235,7 @@
     play(test)
 
 
-def test_idle_connections_give_way_before_clients_reach_a_bound_of_their_own(
+def test_idle_connections_are_closed_before_clients_reach_their_own_limit(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Clients hold a third of the descriptors at most: a crowd that stayed kept all others from coming."""
@@ -261,7 +256,7 @@
 
 
 @pytest.mark.parametrize("sent", [b"", b"*4\r\n$9\r\nSVC.QUERY\r\n", b"*1\r\n$60000\r\nxx"])
-def test_a_client_that_says_nothing_or_half_a_command_is_closed(
+def test_a_client_that_sends_nothing_or_a_partial_command_is_closed(
     sent: bytes, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     monkeypatch.setattr(front_module, "COMMAND_S", 0.3)
@@ -275,7 +270,7 @@
     play(test)
 
 
-def test_half_a_command_behind_an_open_one_costs_the_open_one_nothing(
+def test_a_partial_command_does_not_affect_the_request_before_it(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     monkeypatch.setattr(front_module, "COMMAND_S", 0.3)
@@ -294,7 +289,7 @@
     play(test)
 
 
-def test_a_connection_whose_end_is_in_the_mailbox_is_not_looked_at(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_connection_whose_end_is_in_the_mailbox_is_not_swept(monkeypatch: pytest.MonkeyPatch) -> None:
     """Looking for unread bytes in it raised, and the newcomer's connection was left hanging."""
     monkeypatch.setattr(parts, "RESP_CLIENTS_FRACTION", 1 / 1024)
     monkeypatch.setattr(front_module, "GIVE_WAY_S", 0.0)
@@ -311,7 +306,7 @@
     play(test)
 
 
-def test_a_connection_that_is_used_or_young_is_kept() -> None:
+def test_a_connection_in_use_or_recently_opened_is_kept() -> None:
     async def test() -> None:
         async with one_gateway() as (app, _, _):
             reader, writer = await connect(app.lifecycle.address)
@@ -412,7 +407,7 @@
     play(test)
 
 
-def test_half_commands_are_bounded_over_all_connections(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_partial_commands_are_bounded_over_all_connections(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(parts, "PARTIAL_COMMANDS_FRACTION", 0.0)
 
     async def test() -> None:
@@ -424,7 +419,7 @@
     play(test)
 
 
-def test_a_client_that_does_not_fetch_its_answers_is_closed(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_client_that_does_not_read_its_responses_is_closed(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(front_module, "UNREAD_S", 0.3)
     value = b"*1\r\n" + resp("v" * 65_000)[4:]
 
@@ -451,7 +446,7 @@
 
 
 @pytest.mark.parametrize("extra", [GOOD, b"noise", b"noise\r\n", b"*1\r\n$4\r\nhalf", b"\0\xff\r\n$"])
-def test_a_good_answer_with_more_behind_it_counts_and_the_rest_reaches_nobody(extra: bytes) -> None:
+def test_a_valid_response_with_trailing_bytes_counts_and_the_rest_reaches_nobody(extra: bytes) -> None:
     """Such an answer was thrown away with its connection, and the request run once more."""
 
     async def test() -> None:
@@ -463,7 +458,7 @@
     play(test)
 
 
-def test_what_comes_on_an_idle_connection_is_not_the_next_answer() -> None:
+def test_bytes_on_an_idle_upstream_connection_are_not_the_next_response() -> None:
     async def test() -> None:
         async with one_gateway(script=[GOOD]) as (app, node, _):
             reader, writer = await connect(app.lifecycle.address)
@@ -497,7 +492,7 @@
         b"*1\r\n$40\r\ngood\r\n",
     ],
 )
-def test_a_spoilt_answer_may_have_run_and_ends_its_connection(answer: bytes) -> None:
+def test_a_malformed_response_may_have_run_and_ends_its_connection(answer: bytes) -> None:
     """A connection was used on after an answer that was no array, and after an unknown error."""
 
     async def test() -> None:
@@ -522,7 +517,7 @@
         (7, b"latency_ms=9,inflight=-1", 0.0, ()),
     ],
 )
-def test_a_figure_that_cannot_be_read_is_no_figure(use: Any, load: Any, units: float, report: Any) -> None:
+def test_an_unreadable_load_report_is_ignored(use: Any, load: Any, units: float, report: Any) -> None:
     """One unreadable figure cost the other too; one out of range was booked on the customer."""
     ends: list[AttemptEnd] = []
     asked = Request("r", "c", "p", 1, 1.0, 1.0, 1)
