--- a/badgeryoke/gateway/decision_module.py
+++ b/badgeryoke/gateway/decision_module.py
@@ -31,7 +31,7 @@
     def avoided(self, now: float) -> int:
         """How many of the listed servers get no requests now."""
 
-    def retune(self, settings: api.Settings) -> None:
+    def update_settings(self, settings: api.Settings) -> None:
         """Decide by new settings; requests in flight keep what they began with."""
 
 
--- a/badgeryoke/gateway/dispatcher.py
+++ b/badgeryoke/gateway/dispatcher.py
@@ -114,7 +114,7 @@
         self.post(self._update_settings, settings)
 
     def _update_settings(self, settings: api.Settings) -> None:
-        self._module.retune(settings)
+        self._module.update_settings(settings)
         self._validator.update_settings(settings)
         self._apply_settings(settings)
         self.metrics.add_classes(self._validator.classes)
--- a/badgeryoke/gateway/lifecycle.py
+++ b/badgeryoke/gateway/lifecycle.py
@@ -197,7 +197,7 @@
         parts.resp_listener.share(OVERLAP_CLIENTS_FRACTION)
         if parts.connection_leases is not None:
             parts.connection_leases.only_process = False  # the predecessor answers what it has accepted
-        log.info("state restored: %d customers, %d servers", len(snapshot.ledgers), len(snapshot.peers))
+        log.info("state restored: %d customers, %d servers", len(snapshot.customers), len(snapshot.servers))
 
     def take_snapshot(self) -> StateSnapshot | str:
         """The state for a successor, or why there is none (hot_restart.transfer.Predecessor)."""
--- a/badgeryoke/gateway/reserved_admission.py
+++ b/badgeryoke/gateway/reserved_admission.py
@@ -12,7 +12,8 @@
 from collections.abc import Callable, Mapping
 from typing import Any, Protocol
 
-from badgeryoke.cluster.reservations.lease_client import WAIT_MS, ReservedUnits
+from badgeryoke.cluster.reservations.lease_client import ReservedUnits
+from badgeryoke.cluster.reservations.settlement import MAX_WAIT_MS
 from badgeryoke.gateway.actor import ActorScheduler
 from badgeryoke.gateway.attempt import Request
 from badgeryoke.gateway.pending_request import UnservedCause
@@ -21,7 +22,7 @@
 
 POLL_INTERVAL_S = 0.004  # between two polls of the waiting requests, while there are any
 # What a request must have left of its time to wait: the longest wait, and as much to be served in.
-MIN_REMAINING_MS = 2.0 * WAIT_MS
+MIN_REMAINING_MS = 2.0 * MAX_WAIT_MS
 FAULT_LOG_INTERVAL = 1000  # the first fault is logged, and each so many-th
 
 
@@ -41,7 +42,7 @@
     """
 
     @property
-    def stakes(self) -> Mapping[str, object]:
+    def leases(self) -> Mapping[str, object]:
         """The leases by contract; empty: no call is worth its time."""
 
     def take(self, now: float, customer: int, units: float) -> ReservedUnits | None:
@@ -50,7 +51,7 @@
     def wait(self, now: float, customer: int, units: float, token: Any) -> bool:
         """Queue for units; False where a wait has no prospect."""
 
-    def turns(self, now: float) -> list[tuple[Any, ReservedUnits | None]]:
+    def finished_waits(self, now: float) -> list[tuple[Any, ReservedUnits | None]]:
         """Take out who has waited long enough, with the units drawn or None."""
 
     def failed(self, now: float, reserved: ReservedUnits, cause: str) -> None:
@@ -73,7 +74,7 @@
 
     def reserve(self, pending: ReservedRequest) -> bool:
         """Draw a request's units; False where there is no contract, or too few units now."""
-        if not self._leases.stakes:
+        if not self._leases.leases:
             return False
         pending.unserved_cause = UnservedCause.LATE
         try:
@@ -85,7 +86,7 @@
 
     def enqueue(self, pending: ReservedRequest, remaining_ms: float) -> bool:
         """Whether a request that found no units waits for them; `on_wait_ended` is called when it has."""
-        if remaining_ms < MIN_REMAINING_MS or not self._leases.stakes:
+        if remaining_ms < MIN_REMAINING_MS or not self._leases.leases:
             return False
         try:
             request = pending.request
@@ -102,7 +103,7 @@
     def _poll_queue(self) -> None:
         ended: list[tuple[Any, ReservedUnits | None]] = []
         try:
-            ended = self._leases.turns(self._now())
+            ended = self._leases.finished_waits(self._now())
         except Exception:  # who waits is answered at its deadline, by the dispatcher
             self._record_fault()
         for pending, reserved_units in ended:
--- a/tests/gateway/test_faults_by_stage.py
+++ b/tests/gateway/test_faults_by_stage.py
@@ -210,7 +210,7 @@
 async def units_gathered(at: World) -> None:
     """Known to have much room, so that the units are told some time afterwards."""
     assert await at.ask("before") == b"value"
-    at.module._quota._chance = 0.5  # a crowded counter
+    at.module._quota._call_probability = 0.5  # a crowded counter
     await written_whole(at)
     assert at.counter.units == 1
 
@@ -352,7 +352,7 @@
                 lambda: at.app.parts.counter and at.app.parts.counter._active and at.app.parts.discovery.ready
             )
             for n in range(BURST + 4):
-                at.module._quota._chance = 1.0  # the counter is sound again, and asked
+                at.module._quota._call_probability = 1.0  # the counter is sound again, and asked
                 await at.ask(f"more{n}")
             sent = at.node.books.units[5] - BURST
             assert sent == KNOWN.get((stage, fault), 0)
--- a/tests/support/cluster_samples.py
+++ b/tests/support/cluster_samples.py
@@ -22,7 +22,24 @@
 from badgeryoke.cluster.connection_limits.holders import server_bucket
 from badgeryoke.cluster.placement import directory
 from badgeryoke.cluster.raft.log import encode_config
-from badgeryoke.cluster.reservations import contract
+from badgeryoke.cluster.reservations.commands import (
+    AdvanceContracts,
+    CancelContract,
+    ChangeContract,
+    OpenContract,
+    PollContracts,
+    ProposeContract,
+    ReadContracts,
+    ReleaseLease,
+    ReportShortfall,
+    ReportUsage,
+    RequestLease,
+    SetCapacity,
+    SwitchVersion,
+    UsageSlice,
+    VersionDrained,
+)
+from badgeryoke.cluster.reservations.terms import ContractTerms, Interval, Window
 from badgeryoke.cluster.rolling_restart.commands import (
     CancelRollingRestart,
     ReadDesiredState,
@@ -113,16 +130,16 @@
     ("bootstrap-record", messages.ClusterFounded(founding=msgspec.msgpack.encode(FOUNDING))),
 )
 
-TERMS = contract.ContractTerms(
+TERMS = ContractTerms(
     tenant="north",
     customers=(1, 2, 3),
     rate=100.0,
     burst=20.0,
-    hall="east",
+    zone="east",
     surplus=False,
     rank=2,
     windows=(
-        contract.Window(
+        Window(
             from_ms=START_MS + 60_000,
             to_ms=START_MS + 660_000,
             every_ms=3_600_000.0,
@@ -155,76 +172,85 @@
     ("places", directory.ReadPlacement(id="e5")),
     (
         "capacity",
-        contract.SetCapacity(
-            id="c1", units=1000.0, reserve=0.1, floor=50.0, halls={"east": 600.0, "west": 400.0}
+        SetCapacity(
+            id="c1",
+            capacity=1000.0,
+            reserve_fraction=0.1,
+            unreserved_rate=50.0,
+            zones={"east": 600.0, "west": 400.0},
         ),
     ),
-    ("propose", contract.ProposeContract(id="c2", contract="payday", terms=TERMS)),
+    ("propose", ProposeContract(id="c2", contract="payday", terms=TERMS)),
     (
         "change",
-        contract.ChangeContract(
+        ChangeContract(
             id="c3",
             contract="payday",
             terms=msgspec.structs.replace(TERMS, rate=120.0),
-            holds_from_ms=START_MS + 120_000,
+            effective_from_ms=START_MS + 120_000,
         ),
     ),
-    ("cancel", contract.CancelContract(id="c4", contract="nightly")),
-    ("told", contract.VersionDrained(id="c5", contract="payday", version=1)),
+    ("cancel", CancelContract(id="c4", contract="nightly")),
+    ("told", VersionDrained(id="c5", contract="payday", version=1)),
     (
         "short",
-        contract.ReportShortfall(
-            id="c6", contract="payday", by="a/1", cause="no lease", units=7.5, since_ms=START_MS + 61_000
+        ReportShortfall(
+            id="c6",
+            contract="payday",
+            reporter="a/1",
+            cause="no lease",
+            units=7.5,
+            since_ms=START_MS + 61_000,
         ),
     ),
-    ("pass", contract.AdvanceContracts(id="c7")),
-    ("contracts-read", contract.ReadContracts(id="c8")),
-    ("contracts-known", contract.PollContracts(id="c9", have=3)),
+    ("pass", AdvanceContracts(id="c7")),
+    ("contracts-read", ReadContracts(id="c8")),
+    ("contracts-known", PollContracts(id="c9", known_revision=3)),
     (
         "open",
-        contract.OpenContract(
+        OpenContract(
             id="f1",
             tenant="north",
             contract="payday",
             version=1,
             rate=100.0,
             burst=20.0,
-            times=((START_MS + 60_000, START_MS + 660_000),),
-            holds_from_ms=START_MS,
+            intervals=(Interval(START_MS + 60_000, START_MS + 660_000),),
+            effective_from_ms=START_MS,
         ),
     ),
     (
         "lease",
-        contract.RequestLease(
+        RequestLease(
             id="f2",
             tenant="north",
             contract="payday",
             holder="a/1",
-            number=4,
-            keep=10.0,
-            wish=60.5,
-            room=1.5,
-            hold=2.5,
-            need=3.0,
-            soft=True,
-            least=4.0,
-            pulls=True,
+            lease_number=4,
+            kept_rate=10.0,
+            wanted_rate=60.5,
+            returned_units=1.5,
+            kept_depth=2.5,
+            wanted_units=3.0,
+            takes_spare=True,
+            min_depth=4.0,
+            draws_per_request=True,
             process="a/1.9",
-            order=6,
+            sequence=6,
         ),
     ),
-    ("turn-floor", contract.SwitchVersion(id="f3", tenant="north", contract="payday")),
+    ("turn-floor", SwitchVersion(id="f3", tenant="north", contract="payday")),
     (
         "used",
-        contract.ReportUsage(
+        ReportUsage(
             id="f4",
             tenant="north",
             contract="payday",
-            by="a/1",
-            slices=((340_000_012_000, 3.0, 2.0), (340_000_012_001, 1.0, 0.5)),
+            reporter="a/1",
+            slices=(UsageSlice(340_000_012_000, 3.0, 2.0), UsageSlice(340_000_012_001, 1.0, 0.5)),
         ),
     ),
-    ("end-lease", contract.ReleaseLease(id="f5", tenant="north", contract="payday", holder="a/1", number=4)),
+    ("end-lease", ReleaseLease(id="f5", tenant="north", contract="payday", holder="a/1", lease_number=4)),
     (
         "limit",
         SetConnectionLimit(id="s1", server=SERVER, max_connections=24, idle_timeout_ms=30_000.0),
