--- a/badgeryoke/gateway/cluster/rolling_restart_duties.py
+++ b/badgeryoke/gateway/cluster/rolling_restart_duties.py
@@ -56,7 +56,7 @@
         """Tell the agent how this gateway stands."""
         node, holder = self._node, self._holder
         voting_replicas = [
-            replica for replica in node.replicas.values() if replica.me in replica.config.voters
+            replica for replica in node.replicas.values() if replica.member_id in replica.config.voters
         ]
         self.agent.observe(
             groups_led=sum(replica.leading for replica in voting_replicas),
@@ -64,7 +64,7 @@
             drained=self._gateway.drained,
             empty=not self._gateway.unanswered and holder.empty,
             copies_complete=node.founding.record is not None
-            and all(replica.whole for replica in voting_replicas),
+            and all(replica.is_up_to_date for replica in voting_replicas),
         )
 
     def carry_out(self, now_ms: float) -> None:
--- a/badgeryoke/gateway/cluster/transport/context.py
+++ b/badgeryoke/gateway/cluster/transport/context.py
@@ -8,7 +8,7 @@
 from random import Random
 
 from badgeryoke.cluster.errors import BadFrame, ClusterError, ClusterMismatch, StaleIncarnation
-from badgeryoke.cluster.messages import VERSION, Envelope, MemberId, member_name
+from badgeryoke.cluster.messages import PROTOCOL_VERSION, Envelope, MemberId, member_name
 from badgeryoke.gateway.cluster.transport.error_reporter import ErrorReporter
 from badgeryoke.gateway.cluster.transport.frames import encode_frame, quoted
 from badgeryoke.gateway.cluster.transport.limits import TransportLimits
@@ -35,7 +35,7 @@
 
     def handshake(self, to: str = "") -> bytes:
         """An envelope without messages: handshake, heartbeat, and the answer to either."""
-        return encode_frame(Envelope(VERSION, self.cluster, self.member_id, to, ()))
+        return encode_frame(Envelope(PROTOCOL_VERSION, self.cluster, self.member_id, to, ()))
 
     def check_addressing(self, envelope: Envelope, sender: MemberId) -> ClusterError | None:
         """Why an envelope is not from `sender` to this member; None where it is."""
--- a/tests/cluster/test_behaviour_digests.py
+++ b/tests/cluster/test_behaviour_digests.py
@@ -5,7 +5,7 @@
 
 import random
 from collections.abc import Callable
-from typing import Any
+from typing import Any, cast
 
 import pytest
 
@@ -29,6 +29,7 @@
 from badgeryoke.cluster.events import (
     ClusterCall,
     LeaveCluster,
+    MembershipAction,
     MessageReceived,
     NodeEvent,
     PersistedGroup,
@@ -49,12 +50,11 @@
 from badgeryoke.cluster.leases.lease_pool import LeasePool
 from badgeryoke.cluster.membership.protocol import Membership
 from badgeryoke.cluster.messages import (
-    COMMAND,
-    CONFIG,
     Announce,
     AppendEntries,
     AppendEntriesReply,
     ClusterFounded,
+    EntryKind,
     ForwardedCall,
     ForwardedReply,
     GossipUpdate,
@@ -85,7 +85,8 @@
     group_of,
 )
 from badgeryoke.cluster.raft.log import encode_config
-from badgeryoke.cluster.raft.node import MOST_BODY, RaftNode
+from badgeryoke.cluster.raft.log_replication import MAX_COMMAND_BYTES
+from badgeryoke.cluster.raft.node import RaftNode
 from badgeryoke.cluster.reservations.commands import (
     AdvanceContracts,
     CancelContract,
@@ -142,7 +143,6 @@
 from badgeryoke.testbed.cluster_simulation.generated_plans import play, play_seed
 from badgeryoke.testbed.cluster_simulation.world import FleetWorld
 from badgeryoke.testbed.scenario.model import Fault
-from tests.cluster.raft.test_raft import Storm, write
 from tests.cluster.test_membership import Net, members_of
 from tests.support.canonical import Digest
 from tests.support.cluster_digest import (
@@ -155,6 +155,8 @@
     command_values,
     saved_values,
 )
+from tests.support.raft_group import apply_write
+from tests.support.raft_storm import FaultStorm
 
 TIMINGS = Timings()
 SHORT = Timings(snapshot_entries=8, piece_bytes=48, most_batch=3, most_in_flight=6)
@@ -170,21 +172,21 @@
 
     class Recorded(RaftNode):
         def handle(self, now: float, event: ReplicaEvent) -> list[Any]:
-            digest.add((now, str(self.me), event))
+            digest.add((now, str(self.member_id), event))
             effects = super().handle(now, event)
             for effect in effects:
                 digest.add(effect)
             digest.add(
                 (
-                    self.due,
+                    self.due_ms,
                     self.role,
-                    self.term,
-                    self.commit,
-                    self.last,
-                    self.whole,
-                    self.removed,
-                    self.behind(),
-                    self.lagging(),
+                    self.current_term,
+                    self.commit_index,
+                    self.last_log_index,
+                    self.is_up_to_date,
+                    self.is_removed,
+                    self.lagging_learners(),
+                    self.lagging_voters(),
                 )
             )
             return effects
@@ -195,20 +197,20 @@
 @pytest.mark.parametrize("seed", range(10), ids="storm-{}".format)
 def test_replicas_in_a_storm(seed: int) -> None:
     digest = Digest()
-    storm = Storm(1000 + seed, recorded_replica(digest), ms=2500.0)
+    storm = FaultStorm(1000 + seed, recorded_replica(digest), duration_ms=2500.0)
     storm.run()
-    world = storm.world
-    digest.add([str(who) for who in world.sites])
-    digest.add(world.acked)
-    for at, site in enumerate(world.sites.values()):
+    world = storm.group
+    digest.add([str(who) for who in world.processes])
+    digest.add(world.acknowledged)
+    for at, site in enumerate(world.processes.values()):
         assert site.replica is not None
-        digest.add(site.replica.status(world.now))
+        digest.add(site.replica.status(world.now_ms))
         if at % 2:
-            site.replica.handle(world.now, StorageFailure(StorageFailed("g", "the disk is full")))
-        site.replica.handle(world.now, ReadIndexRequest("late-read"))
-        site.replica.handle(world.now, ProposeEntry("late", b"x"))
-        digest.add(site.replica.forget())
-        digest.add(site.replica.status(world.now))
+            site.replica.handle(world.now_ms, StorageFailure(StorageFailed("g", "the disk is full")))
+        site.replica.handle(world.now_ms, ReadIndexRequest("late-read"))
+        site.replica.handle(world.now_ms, ProposeEntry("late", b"x"))
+        digest.add(site.replica.discard())
+        digest.add(site.replica.status(world.now_ms))
     check(f"replica-storm-{seed}", digest)
 
 
@@ -239,10 +241,12 @@
         self.answers: list[MessageReceived] = []  # on their way to the replica
 
     def term(self) -> int:
-        return max(self.replica.term + self.draw.choice((0, 0, 0, 0, 0, 0, 1, -1)), 0)
+        return max(self.replica.current_term + self.draw.choice((0, 0, 0, 0, 0, 0, 1, -1)), 0)
 
     def index(self) -> int:
-        near = self.draw.choice((self.replica.last, self.replica.commit, self.replica.last + 1))
+        near = self.draw.choice(
+            (self.replica.last_log_index, self.replica.commit_index, self.replica.last_log_index + 1)
+        )
         return max(near + self.draw.choice((0, 0, 0, -1, 1, -3)), 0)
 
     def token(self) -> str:
@@ -251,14 +255,14 @@
 
     def entries(self, previous: int, term: int) -> tuple[LogEntry, ...]:
         made = tuple(
-            LogEntry(previous + 1 + at, term, COMMAND, f"e{previous}-{at}".encode())
+            LogEntry(previous + 1 + at, term, EntryKind.COMMAND, f"e{previous}-{at}".encode())
             for at in range(self.draw.choice((0, 0, 1, 2, 3)))
         )
         if made and self.draw.random() < 0.1:
             voters = self.names[: self.draw.randint(2, len(self.names))]
             made = (
                 *made[:-1],
-                LogEntry(made[-1].index, term, CONFIG, encode_config(GroupConfiguration(voters))),
+                LogEntry(made[-1].index, term, EntryKind.CONFIG, encode_config(GroupConfiguration(voters))),
             )
         return made
 
@@ -306,21 +310,28 @@
         message = sent.message
         match message:
             case RequestVote():
-                return MessageReceived(sent.to, RequestVoteReply("g", message.term, True, message.pre))
+                return MessageReceived(sent.to, RequestVoteReply("g", message.term, True, message.pre_vote))
             case AppendEntries():
-                last = message.previous + len(message.entries)
+                last = message.prev_log_index + len(message.entries)
                 if self.draw.random() < 0.1:
                     return MessageReceived(
-                        sent.to, AppendEntriesReply("g", message.term, False, max(last - 3, 0), message.round)
+                        sent.to,
+                        AppendEntriesReply(
+                            "g", message.term, False, max(last - 3, 0), message.heartbeat_round
+                        ),
                     )
                 return MessageReceived(
-                    sent.to, AppendEntriesReply("g", message.term, True, last, message.round)
+                    sent.to, AppendEntriesReply("g", message.term, True, last, message.heartbeat_round)
                 )
             case InstallSnapshotChunk():
                 return MessageReceived(
                     sent.to,
                     InstallSnapshotChunkReply(
-                        "g", message.term, message.index, message.offset + len(message.body), message.round
+                        "g",
+                        message.term,
+                        message.last_included_index,
+                        message.offset_bytes + len(message.data),
+                        message.heartbeat_round,
                     ),
                 )
         return None
@@ -338,14 +349,16 @@
         if chance < 0.85:
             return MessageReceived(draw.choice(self.names), self.message())
         if chance < 0.93:
-            body = b"x" * (MOST_BODY + 1) if draw.random() < 0.02 else f"p{self.tokens}".encode()
+            body = b"x" * (MAX_COMMAND_BYTES + 1) if draw.random() < 0.02 else f"p{self.tokens}".encode()
             return ProposeEntry(self.token(), body)
         if chance < 0.96:
             return ReadIndexRequest(self.token())
         if chance < 0.99:
-            return ChangeMembers(
-                self.token(), draw.choice(("learn", "promote", "remove", "dance")), draw.choice(self.names)
-            )
+            token, action = (
+                self.token(),
+                draw.choice(("learn", "promote", "remove", "dance")),
+            )  # one is unknown
+            return ChangeMembers(token, cast(MembershipAction, action), draw.choice(self.names))
         return TransferLeadership(draw.choice((*self.names, "")))
 
 
@@ -375,8 +388,8 @@
             now += draw.choice((0.0, 1.0, 5.0, 60.0, 300.0))
             for effect in replica.handle(now, strangers.event(seqs)):
                 if isinstance(effect, PersistRecords):
-                    seqs.append(effect.seq)
-                    saved = write(saved, effect)
+                    seqs.append(effect.sequence)
+                    saved = apply_write(saved, effect)
                 elif (
                     isinstance(effect, SendMessage)
                     and strangers.friendly
@@ -386,7 +399,7 @@
         digest.add(replica.status(now))
         digest.add(saved_values(saved, "g"))
         digest.add((rules.count, broken_values(rules)))
-        if replica.stopped is not None:
+        if replica.stop_reason is not None:
             saved, rules = PersistedGroup(), Invariants(strict=False)
     check(f"replica-strangers-{seed}", digest)
 
@@ -394,7 +407,10 @@
 def test_a_group_that_is_forced() -> None:
     digest, config = Digest(), GroupConfiguration(("a/1", "b/1", "c/1"))
     saved = PersistedGroup(
-        4, "b/1", Snapshot(3, 2, config, b"x"), (LogEntry(4, 3, COMMAND, b"y"), LogEntry(5, 4, COMMAND, b"z"))
+        4,
+        "b/1",
+        Snapshot(3, 2, config, b"x"),
+        (LogEntry(4, 3, EntryKind.COMMAND, b"y"), LogEntry(5, 4, EntryKind.COMMAND, b"z")),
     )
     for lost in (("b/1", "c/1"), ("b/1",), (), ("c/1", "b/1"), ("b/1", "d/1")):
         digest.add(saved_values(forced(saved, "g", "a/1", lost, START), "g"))
@@ -1432,7 +1448,7 @@
             effects = [
                 later
                 for one in seqs
-                for later in node.handle(now, START + now, RecordsPersisted(one.group, one.seq))
+                for later in node.handle(now, START + now, RecordsPersisted(one.group, one.sequence))
             ]
         if step % 10 == 9:
             answers_of(
--- a/tests/gateway/cluster/test_service.py
+++ b/tests/gateway/cluster/test_service.py
@@ -35,7 +35,7 @@
 )
 from badgeryoke.cluster.invariants import Rule
 from badgeryoke.cluster.key_value import PutValue
-from badgeryoke.cluster.messages import NOTHING, GroupConfiguration, LogEntry, RequestVoteReply
+from badgeryoke.cluster.messages import EntryKind, GroupConfiguration, LogEntry, RequestVoteReply
 from badgeryoke.cluster.state_machine.part import ApplyResult
 from badgeryoke.gateway.application import GatewayApplication
 from badgeryoke.gateway.cluster import service as service_module
@@ -264,6 +264,7 @@
 
             def effects_of(event: Any) -> list[Any]:
                 if isinstance(event, ClusterCall):
+                    assert isinstance(event.command, PutValue)
                     return [
                         LogEvent("warning", "asked", {"of": event.command.name}),
                         PersistRecords("g", 1, (HardState(1, "a/1"),)),
@@ -449,7 +450,7 @@
                 (
                     HardState(4, ""),
                     Snapshot(1, 1, GroupConfiguration((me, *others)), b""),
-                    Entries((LogEntry(2, 4, NOTHING, b""),)),
+                    Entries((LogEntry(2, 4, EntryKind.NOTHING, b""),)),
                 ),
             )
         ]
@@ -460,7 +461,7 @@
         for words, count in (("BY HAND", 4), ("nothing to do", 4)):
             async with running_service(tmp_path, forced={"g1": others, "g2": others}) as (_, node):
                 assert words in caplog.text and "fleet.forced.g2: this member holds no copy" in caplog.text
-                assert node.saved["g1"].vote == me and len(node.saved["g1"].entries) == count
+                assert node.saved["g1"].voted_for == me and len(node.saved["g1"].entries) == count
             caplog.clear()
 
     run_with_timeout(test)
--- a/tests/support/transport.py
+++ b/tests/support/transport.py
@@ -10,10 +10,10 @@
 
 from badgeryoke.cluster import errors
 from badgeryoke.cluster.messages import (
-    COMMAND,
-    VERSION,
+    PROTOCOL_VERSION,
     AnyMessage,
     AppendEntries,
+    EntryKind,
     Envelope,
     GossipUpdate,
     LogEntry,
@@ -33,12 +33,12 @@
 )
 TEST_TIMEOUT_S = 20
 PING = Ping(1, "b/1", (GossipUpdate("c/1", 1, 3, "a/1"),))
-HANDSHAKE = Envelope(VERSION, "f", "a/1", "b", ())
+HANDSHAKE = Envelope(PROTOCOL_VERSION, "f", "a/1", "b", ())
 
 
 def append_entries(size: int = 1000, index: int = 1) -> AppendEntries:
     """A message with one entry of that size."""
-    return AppendEntries("g", 1, index - 1, 1, (LogEntry(index, 1, COMMAND, b"x" * size),), 0, 0)
+    return AppendEntries("g", 1, index - 1, 1, (LogEntry(index, 1, EntryKind.COMMAND, b"x" * size),), 0, 0)
 
 
 class TransportEndpoint:
@@ -92,9 +92,11 @@
         there.transport.close()
 
 
-def run_with_timeout(test: Callable[[], Coroutine[object, object, None]]) -> None:
+def run_with_timeout(
+    test: Callable[[], Coroutine[object, object, None]], timeout_s: float = TEST_TIMEOUT_S
+) -> None:
     """Run a test that may wait for what never comes."""
-    asyncio.run(asyncio.wait_for(test(), TEST_TIMEOUT_S))
+    asyncio.run(asyncio.wait_for(test(), timeout_s))
 
 
 class UnresponsivePeer:
@@ -116,7 +118,7 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections += 1
-        writer.write(encode_frame(Envelope(VERSION, "f", "c/1", "a", ())))
+        writer.write(encode_frame(Envelope(PROTOCOL_VERSION, "f", "c/1", "a", ())))
         self.writers.append(writer)
         if self.reads:
             with contextlib.suppress(asyncio.CancelledError):
