--- a/badgeryoke/__main__.py
+++ b/badgeryoke/__main__.py
@@ -12,6 +12,7 @@
 
 
 async def main() -> None:
+    """Serve until SIGTERM; raises ConfigError where the configuration cannot be used."""
     root = Path.cwd()
     config = read_config(os.environ, root)
     configure_logging(config.operators.log.format, config.operators.log.level)
@@ -22,5 +23,5 @@
     configure_logging()
     try:
         asyncio.run(main())
-    except ConfigError as fault:
-        sys.exit(f"badgeryoke: configuration: {fault}")
+    except ConfigError as error:
+        sys.exit(f"badgeryoke: configuration: {error}")
--- a/badgeryoke/gateway/admin/rendering.py
+++ b/badgeryoke/gateway/admin/rendering.py
@@ -27,11 +27,11 @@
     """All metrics, one a line, each line ended."""
     lines = [
         f'lb_downstream_requests{{lane="{name.translate(LABEL_ESCAPES)}",result="{result}"}} {count}'
-        for name, counts in metrics.ended.items()
+        for name, counts in metrics.finished.items()
         for result, count in zip(RESULTS, counts, strict=True)
     ]
     lines += [
-        f"lb_upstream_requests {metrics.attempts}",
+        f"lb_upstream_requests {metrics.attempts_sent}",
         f"lb_pending {gauges.pending}",
         f"lb_members {gauges.members}",
         f"lb_members_unavailable {gauges.members_unavailable}",
--- a/badgeryoke/gateway/cluster/transport/outbound.py
+++ b/badgeryoke/gateway/cluster/transport/outbound.py
@@ -10,7 +10,6 @@
 
 from badgeryoke.cluster.errors import ClusterError, ClusterMismatch, StaleIncarnation
 from badgeryoke.cluster.messages import member_name
-from badgeryoke.gateway.actor import dial
 from badgeryoke.gateway.cluster.transport.context import TransportContext
 from badgeryoke.gateway.cluster.transport.frames import (
     MAX_ENVELOPE_OVERHEAD_BYTES,
@@ -19,6 +18,7 @@
     read_envelope,
 )
 from badgeryoke.gateway.cluster.transport.peer import Peer
+from badgeryoke.gateway.connecting import dial
 
 MIN_JITTER, MAX_JITTER = 0.5, 1.5  # by which a backoff is multiplied
 
--- a/tests/decisions/test_priority_admission.py
+++ b/tests/decisions/test_priority_admission.py
@@ -19,10 +19,11 @@
 from badgeryoke.gateway.actor import ActorScheduler
 from badgeryoke.gateway.attempt import Request
 from badgeryoke.gateway.cluster.service import ClusterService
-from badgeryoke.gateway.dispatcher import Dispatcher, Rejected, Served
-from tests.gateway.test_dispatcher import AIM, Bench, NoCounter
+from badgeryoke.gateway.dispatcher import Dispatcher
+from badgeryoke.gateway.responses import Rejected, Served
 from tests.support import samples
 from tests.support.cluster_service import cluster_settings
+from tests.support.dispatcher_bench import IDEMPOTENT_CLASS, DispatcherBench, NoCounter
 from tests.support.running import until
 from tests.support.samples import START, only
 
@@ -270,100 +271,105 @@
         self.short.append((cause, one.units))
 
 
-class Guaranteed(Bench):
+class Guaranteed(DispatcherBench):
     """A core whose plan lets nothing more through, with contracts."""
 
     def __init__(self, room: float = 0.0) -> None:
         super().__init__()
         plan = api.Plan("free", rate=0.001, burst=1.0)
-        made = replace(samples.SETTINGS, has_counter=False, gateway_count=1, classes=(AIM,), plans=(plan,))
-        self.core = Dispatcher(
+        made = replace(
+            samples.SETTINGS, has_counter=False, gateway_count=1, classes=(IDEMPOTENT_CLASS,), plans=(plan,)
+        )
+        self.dispatcher = Dispatcher(
             made,
             1,
             ActorScheduler(self.loop),
             self.loop.clock,
-            lambda _: self.link,
+            lambda _: self.upstream,
             NoCounter(),
-            reserves=True,
+            with_reservations=True,
         )
-        self.core.members(api.EndpointList(api.ListScope.FULL, (samples.server(1),)))
+        self.dispatcher.update_endpoints(api.EndpointList(api.ListScope.FULL, (samples.server(1),)))
         self.stakes = StandIn(room)
-        self.core.guarantee(self.stakes, lambda: self.loop.time() * 1000.0)
-        self.ask()  # the burst; drawn, if there is room
+        self.dispatcher.enable_reservations(self.stakes, lambda: self.loop.time() * 1000.0)
+        self.submit()  # the burst; drawn, if there is room
         if not room:
             self.stakes.due = True
             self.loop.run(0.01)
             self.stakes.due = False
-        self.last.served(b"first")
+        self.last_attempt.succeeded(b"first")
         self.loop.run()
 
 
 def test_what_is_drawn_is_sent_and_the_rest_waits_its_turn_or_is_ordinary() -> None:
     bench = Guaranteed(room=2.0)
-    bench.ask()
-    bench.last.served(b"drawn")
+    bench.submit()
+    bench.last_attempt.succeeded(b"drawn")
     bench.loop.run()
-    bench.ask()
-    assert bench.answers == [Served(b"first"), Served(b"drawn")] and len(bench.stakes.waiting) == 1
+    bench.submit()
+    assert bench.responses == [Served(b"first"), Served(b"drawn")] and len(bench.stakes.waiting) == 1
     bench.stakes.due, bench.stakes.room = True, 1.0
     bench.loop.run(0.01)
-    bench.last.served(b"waited")
+    bench.last_attempt.succeeded(b"waited")
     bench.loop.run()
-    assert bench.answers[2:] == [Served(b"waited")] and bench.stakes.short == []
+    assert bench.responses[2:] == [Served(b"waited")] and bench.stakes.short == []
     for _ in range(2):  # none in time: ordinary, of which the plan's burst bears one
-        bench.ask()
+        bench.submit()
         bench.loop.run(0.01)
-    bench.last.served(b"ordinary")
+    bench.last_attempt.succeeded(b"ordinary")
     bench.loop.run(3.0)
-    assert bench.answers[3] != bench.answers[4] and len(bench.answers) == 5
+    assert bench.responses[3] != bench.responses[4] and len(bench.responses) == 5
     assert (
-        Served(b"ordinary") in bench.answers and bench.stakes.short == []
+        Served(b"ordinary") in bench.responses and bench.stakes.short == []
     )  # it is the stakes that count these
 
 
 def test_a_query_waits_only_while_it_leaves_the_time_to_serve_it() -> None:
     bench = Guaranteed()
-    bench.ask(d=400.0)
-    assert not bench.stakes.waiting and isinstance(bench.answers[-1], Rejected)
+    bench.submit(d=400.0)
+    assert not bench.stakes.waiting and isinstance(bench.responses[-1], Rejected)
 
 
 def test_what_was_drawn_and_not_served_is_counted_by_its_cause_and_answered_once() -> None:
     bench = Guaranteed(room=4.0)
-    bench.ask()
-    while len(bench.answers) < 2:  # as often as attempts are allowed
-        bench.last.turned_away("full")
+    bench.submit()
+    while len(bench.responses) < 2:  # as often as attempts are allowed
+        bench.last_attempt.rejected("full")
         bench.loop.run()
-    bench.ask()  # silence, to the deadline
+    bench.submit()  # silence, to the deadline
     bench.loop.run(3.0)
-    bench.ask()()  # its client leaves
+    bench.submit()()  # its client leaves
     bench.loop.run(3.0)
-    assert [type(one) for one in bench.answers] == [Served, Rejected, Rejected]
+    assert [type(one) for one in bench.responses] == [Served, Rejected, Rejected]
     assert bench.stakes.short == [("load", 1.0), ("server", 1.0)]
 
 
 def test_who_waits_may_leave_and_a_fault_of_the_stakes_costs_no_query() -> None:
     bench = Guaranteed()
-    left = bench.ask()
+    left = bench.submit()
     left()
     bench.loop.run()
     bench.stakes.due, bench.stakes.room = True, 1.0
     bench.loop.run(1.0)
-    assert len(bench.answers) == 1 and bench.core.unanswered == 0
+    assert len(bench.responses) == 1 and bench.dispatcher.unanswered == 0
     assert (
-        isinstance(bench.core._module, priority_admission.PriorityDecisionEngine)
-        and not bench.core._module._pending
+        isinstance(bench.dispatcher._module, priority_admission.PriorityDecisionEngine)
+        and not bench.dispatcher._module._pending
     )
     bench.stakes.broken = True
-    bench.ask()
-    assert len(bench.answers) == 2 and isinstance(bench.answers[-1], Rejected)
+    bench.submit()
+    assert len(bench.responses) == 2 and isinstance(bench.responses[-1], Rejected)
 
 
 def test_without_contracts_nothing_of_the_fleet_is_asked() -> None:
-    bench = Bench()
-    assert bench.core._guarantee is None and type(bench.core._module) is engine.DecisionEngine
-    bench.core.submit(Request("x", "balance-check", "free", 5, 2000.0, 1.0, 1), bench.answers.append)
+    bench = DispatcherBench()
+    assert (
+        bench.dispatcher._reserved_admission is None
+        and type(bench.dispatcher._module) is engine.DecisionEngine
+    )
+    bench.dispatcher.submit(Request("x", "balance-check", "free", 5, 2000.0, 1.0, 1), bench.responses.append)
     bench.loop.run()
-    assert bench.link.executions
+    assert bench.upstream.attempts
 
 
 def test_the_fleets_part_hands_its_stakes_to_the_core(tmp_path: Path) -> None:
--- a/tests/gateway/cluster/test_connection_leases.py
+++ b/tests/gateway/cluster/test_connection_leases.py
@@ -97,7 +97,7 @@
                 config(list_.port, None, roster(entry("s", node.port))), name="a", operators=operators
             )
             async with gateway(made, lambda: time.time() * 1000.0) as app:
-                reader, writer = await connect(app.address)
+                reader, writer = await connect(app.lifecycle.address)
                 writer.write(query("r1", d=300, plan="free"))
                 assert (await reader.readline())[:1] == b"-"  # the fleet has no majority here
                 assert node.connections == 0
@@ -119,7 +119,7 @@
             await wait_until(lambda: server.open_from("a"))
             server.ignores_close = ignores_close
             begun = boot_time_ms()
-            attempt.abandon(Verdict.CANCELLED)
+            attempt.abort(Verdict.CANCELLED)
             await wait_until(lambda: len(a.upstream._all) == 0)
             if ignores_close:
                 assert (a.open_connections, server.open_from("a")) == (1, 1)
@@ -146,7 +146,7 @@
                     )  # for the lease; what is dialled under it is given up soon
                     a.use_short_connect_timeout()
                     await wait_until(lambda: a.open_connections == 1)
-                    attempt.abandon(Verdict.CANCELLED)
+                    attempt.abort(Verdict.CANCELLED)
                     await wait_until(lambda: a.attempt_ends and a.open_connections == 0)
 
     run_with_timeout(test, TEST_TIMEOUT_S)
--- a/tests/gateway/cluster/test_service.py
+++ b/tests/gateway/cluster/test_service.py
@@ -487,7 +487,7 @@
 
 
 async def call(app: GatewayApplication, line: bytes) -> bytes:
-    reader, writer = await connect(app.mgmt_address)
+    reader, writer = await connect(app.lifecycle.admin_address)
     writer.write(line)
     said = await reader.read()
     writer.close()
@@ -507,9 +507,9 @@
                 assert await call(app, b"FLEET " + b"x" * 300 + b"\n") == await call(app, b"FLEET\n")
             made = replace(made, name="a", operators=Operators(fleet=cluster_settings(tmp_path)))
             async with gateway(made) as app:
-                await until(lambda: app.fleet is not None and app.fleet.node is not None)
-                assert app.fleet is not None
-                script = app.fleet.node
+                await until(lambda: app.parts.cluster is not None and app.parts.cluster.node is not None)
+                assert app.parts.cluster is not None
+                script = app.parts.cluster.node
                 assert isinstance(script, ScriptedNode)
                 script.effects_of = lambda event: (
                     [OperationCompleted("a.1", ApplyResult([1]))]
--- a/tests/gateway/discovery/test_responses.py
+++ b/tests/gateway/discovery/test_responses.py
@@ -14,7 +14,7 @@
 import pytest
 
 from badgeryoke.decisions.interface import ListScope
-from badgeryoke.gateway import actor
+from badgeryoke.gateway import connecting
 from badgeryoke.gateway.discovery import client as discovery_client
 from badgeryoke.gateway.discovery.client import DiscoveryClient
 from badgeryoke.gateway.discovery.endpoint_list import EndpointSnapshot, read_endpoint_snapshot
@@ -177,7 +177,7 @@
 
         def recording_dial(*given: Any) -> Any:
             connected_at.append(loop.time())
-            return actor.dial(*given)
+            return connecting.dial(*given)
 
         monkeypatch.setattr(discovery_client, "dial", recording_dial)
         with socket.create_server((HOST, 0), backlog=0) as deaf, contextlib.ExitStack() as full:
@@ -445,7 +445,7 @@
             async def scarce() -> None:
                 with monkeypatch.context() as patch:
                     patch.setattr(
-                        actor, "new_socket", lambda _: (_ for _ in ()).throw(OSError(errno.EMFILE, ""))
+                        connecting, "new_socket", lambda _: (_ for _ in ()).throw(OSError(errno.EMFILE, ""))
                     )
                     await asyncio.sleep(20.0)
 
--- a/tests/gateway/test_connecting.py
+++ b/tests/gateway/test_connecting.py
@@ -11,8 +11,9 @@
 from tornado.iostream import StreamClosedError
 
 from badgeryoke.decisions.interface import CounterReply, Verdict
-from badgeryoke.gateway.actor import ActorScheduler, dial, on_close
+from badgeryoke.gateway.actor import ActorScheduler
 from badgeryoke.gateway.attempt import Attempt, AttemptEnd, AttemptStage, Request
+from badgeryoke.gateway.connecting import dial, on_close
 from badgeryoke.gateway.quota_counter.client import QuotaCounterClient
 from badgeryoke.gateway.resp.upstream_connection import RespUpstream
 from tests.support.running import run_test
@@ -45,10 +46,10 @@
             idle_ms=1000.0,
             most=4,
         )
-        request = Request("a1", "read", "plain", 7, 4000.0, 1.0, 2, safe=True)
+        request = Request("a1", "read", "plain", 7, 4000.0, 1.0, 2, idempotent=True)
         upstream.start(Attempt(request, 0, 1, NOW_MS, NOW_MS + 4000.0, lambda _, end: ends.put_nowait(end)))
         end = await asyncio.wait_for(ends.get(), 5)  # without this a fault would only show as a hang
-        assert (end.verdict, end.reached) == (Verdict.CONNECT_FAILED, AttemptStage.NOT_WRITTEN)
+        assert (end.verdict, end.stage) == (Verdict.CONNECT_FAILED, AttemptStage.NOT_WRITTEN)
 
     run_test(test)
 
--- a/tests/gateway/test_dispatcher.py
+++ b/tests/gateway/test_dispatcher.py
@@ -1,8 +1,7 @@
-"""The core under a clock that is moved by hand: one final answer for each query, whatever happens."""
+"""The dispatcher gives one final response for each request, whatever happens."""
 
 from __future__ import annotations
 
-import heapq
 from collections.abc import Callable
 from dataclasses import replace
 from types import SimpleNamespace
@@ -12,104 +11,24 @@
 
 from badgeryoke.decisions import interface as api
 from badgeryoke.decisions.policy.engine import DecisionEngine
-from badgeryoke.gateway.actor import Actor, ActorScheduler, WallClock
-from badgeryoke.gateway.application import GatewayApplication
+from badgeryoke.gateway.actor import Actor, ActorScheduler
 from badgeryoke.gateway.attempt import Attempt, AttemptStage, Request
-from badgeryoke.gateway.dispatcher import Dispatcher, Failed, Rejected, Response, Served
+from badgeryoke.gateway.lifecycle import Lifecycle
+from badgeryoke.gateway.responses import Failed, Rejected, Served
+from badgeryoke.gateway.wall_clock import WallClock
 from tests.support import samples
-from tests.support.stand_ins import NOW_MS, settings
-
-AIM = api.RequestClass("balance-check", 400.0, 2000.0, api.Idempotency.IDEMPOTENT)
-KEYED = api.RequestClass(
-    "load-send", 750.0, 2000.0, api.Idempotency.WITH_KEY, api.DeduplicationScope.ALL, 1000.0
+from tests.support.dispatcher_bench import (
+    IDEMPOTENT_CLASS,
+    KEYED_CLASS,
+    NOT_IDEMPOTENT_CLASS,
+    DispatcherBench,
+    FakeLoop,
 )
-UNSAFE = api.RequestClass("once", 750.0, 2000.0, api.Idempotency.NOT_IDEMPOTENT)
-
-
-class Handle:
-    def __init__(self) -> None:
-        self.cancelled = False
-
-    def cancel(self) -> None:
-        self.cancelled = True
-
-
-class FakeLoop:
-    """A loop whose time passes only in run()."""
-
-    def __init__(self) -> None:
-        self._now, self._count = 0.0, 0
-        self._due: list[tuple[float, int, Handle, Callable[..., object], tuple[Any, ...]]] = []
-
-    def time(self) -> float:
-        return self._now
-
-    def clock(self) -> float:
-        return NOW_MS + self._now * 1000.0
-
-    def call_soon(self, callback: Callable[..., object], *args: Any) -> Any:
-        return self.call_later(0.0, callback, *args)
-
-    def call_later(self, delay: float, callback: Callable[..., object], *args: Any) -> Any:
-        handle = Handle()
-        self._count += 1
-        heapq.heappush(self._due, (self._now + delay, self._count, handle, callback, args))
-        return handle
-
-    def run(self, seconds: float = 0.0) -> None:
-        until = self._now + seconds
-        while self._due and self._due[0][0] <= until:
-            at, _, handle, callback, args = heapq.heappop(self._due)
-            self._now = max(at, self._now)
-            if not handle.cancelled:
-                callback(*args)
-        self._now = until
-
-
-class Link:
-    """A server link that keeps what it was given."""
-
-    def __init__(self) -> None:
-        self.executions: list[Attempt] = []
-
-    def start(self, execution: Attempt) -> None:
-        self.executions.append(execution)
-
-
-class NoCounter:
-    def add(self, *_: object) -> None:
-        raise AssertionError("no counter here")
-
-
-class Bench:
-    """A core with one server and no counter."""
-
-    def __init__(self, **changes: Any) -> None:
-        self.loop, self.link = FakeLoop(), Link()
-        made = settings(has_counter=False, classes=(AIM, KEYED, UNSAFE), **changes)
-        self.core = Dispatcher(
-            made, 1, ActorScheduler(self.loop), self.loop.clock, lambda _: self.link, NoCounter()
-        )
-        self.core.members(
-            api.EndpointList(api.ListScope.FULL, (api.Server(1, "a", "std", 0, api.EndpointState.UP),))
-        )
-        self.answers: list[Response] = []
-        self.asked = 0
-
-    def ask(self, cls: str = "balance-check", d: float = 2000.0, **more: Any) -> Callable[[], None]:
-        self.asked += 1
-        asked = Request(f"r{self.asked}", cls, "free", 5, d, 1.0, 1, **more)
-        left = self.core.submit(asked, self.answers.append)
-        self.loop.run()
-        return left
-
-    @property
-    def last(self) -> Attempt:
-        return self.link.executions[-1]
+from tests.support.stand_ins import NOW_MS, settings
 
 
-def test_an_answer_that_has_begun_takes_none_of_what_servers_bear() -> None:
-    """Long values held the places of queries that servers had room for."""
+def test_a_started_response_uses_no_server_capacity() -> None:
+    """Regression: long values held the places of requests that servers had capacity for."""
     made = samples.gateway(has_counter=False)
     [sent] = samples.only(made.handle(samples.START, samples.request("a", spread=1)), api.SendAttempt)
     assert made._balancer._in_flight == 1 and made._balancer._servers[sent.server].in_flight
@@ -119,255 +38,275 @@
     assert made._balancer._in_flight == 0 and not made._pending
 
 
-def test_a_served_attempt_is_the_answer() -> None:
-    bench = Bench()
-    bench.ask()
-    bench.last.written()
-    bench.last.served(b"value", 3.0)
-    bench.last.served(b"again")
+def test_a_succeeded_attempt_gives_the_final_response_once() -> None:
+    bench = DispatcherBench()
+    bench.submit()
+    bench.last_attempt.written()
+    bench.last_attempt.succeeded(b"value", 3.0)
+    bench.last_attempt.succeeded(b"again")
     bench.loop.run(3.0)
-    assert bench.answers == [Served(b"value", 3.0)] and not bench.core.unanswered
+    assert bench.responses == [Served(b"value", 3.0)] and not bench.dispatcher.unanswered
 
 
 SILENT_CASES = pytest.mark.parametrize(
     ("cls", "written", "kind"),
     [
-        pytest.param("balance-check", True, Rejected, id="safe"),
-        pytest.param("load-send", True, Rejected, id="keyed at all servers"),
-        pytest.param("once", True, Failed, id="unsafe, written whole"),
-        pytest.param("once", False, Rejected, id="unsafe, never written whole"),
+        pytest.param("balance-check", True, Rejected, id="idempotent"),
+        pytest.param("load-send", True, Rejected, id="with a key, deduplicated by all servers"),
+        pytest.param("once", True, Failed, id="not idempotent, written completely"),
+        pytest.param("once", False, Rejected, id="not idempotent, never written completely"),
     ],
 )
 
 
 @SILENT_CASES
-def test_near_sigkill_each_open_query_gets_its_answer_before_its_deadline(
+def test_near_sigkill_each_pending_request_gets_its_response_before_its_deadline(
     cls: str, written: bool, kind: type
 ) -> None:
-    """A deadline may be longer than what SIGKILL counts with, and an end without an answer is a loss."""
-    bench = Bench(can_cancel=False)
-    bench.ask(cls, d=3300.0)
+    """A deadline may be longer than the one SIGKILL waits for, and an end without a response is a loss."""
+    bench = DispatcherBench(can_cancel=False)
+    bench.submit(cls, d=3300.0)
     if written:
-        bench.last.written()
+        bench.last_attempt.written()
     bench.loop.run(1.0)
-    gateway = SimpleNamespace(
-        core=bench.core,
+    lifecycle = SimpleNamespace(
+        _parts=SimpleNamespace(dispatcher=bench.dispatcher, loop=bench.loop),
         done=SimpleNamespace(is_set=lambda: False),
-        _loop=bench.loop,
-        _drained=lambda event: None,
+        post=lambda event: None,
     )
-    GatewayApplication._wait_no_longer(gateway)  # type: ignore[arg-type]
+    Lifecycle._answer_all_now(lifecycle)  # type: ignore[arg-type]
     bench.loop.run(0.01)
-    assert [type(answer) for answer in bench.answers] == [kind] and not bench.core.unanswered
+    assert [type(answer) for answer in bench.responses] == [kind] and not bench.dispatcher.unanswered
 
 
 @SILENT_CASES
-def test_the_deadline_is_kept_though_the_server_is_silent(cls: str, written: bool, kind: type) -> None:
-    bench = Bench(can_cancel=False)
-    bench.ask(cls)
+def test_the_deadline_is_kept_when_the_server_is_silent(cls: str, written: bool, kind: type) -> None:
+    bench = DispatcherBench(can_cancel=False)
+    bench.submit(cls)
     if written:
-        bench.last.written()
+        bench.last_attempt.written()
     bench.loop.run(1.99)  # before the client gives up at 2 s
-    assert [type(answer) for answer in bench.answers] == [kind]
-    assert bench.last.ended and not bench.core.unanswered
+    assert [type(answer) for answer in bench.responses] == [kind]
+    assert bench.last_attempt.ended and not bench.dispatcher.unanswered
 
 
 @pytest.mark.parametrize("event", [api.Request, api.AttemptOutcome, api.ClientDisconnected])
-def test_a_module_fault_costs_no_query_its_answer(event: type, monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_decision_module_fault_costs_no_request_its_response(
+    event: type, monkeypatch: pytest.MonkeyPatch
+) -> None:
     real = DecisionEngine.handle
 
-    def faulty(self: DecisionEngine, now: float, got: api.Event) -> list[api.Action]:
-        if isinstance(got, event):
+    def faulty(self: DecisionEngine, now: float, received: api.Event) -> list[api.Action]:
+        if isinstance(received, event):
             raise ValueError("a fault")
-        return real(self, now, got)
+        return real(self, now, received)
 
     monkeypatch.setattr(DecisionEngine, "handle", faulty)
-    bench = Bench()
-    bench.ask()
-    if bench.link.executions:
-        bench.last.written()
-        bench.last.error("ERR failed")
+    bench = DispatcherBench()
+    bench.submit()
+    if bench.upstream.attempts:
+        bench.last_attempt.written()
+        bench.last_attempt.failed("ERR failed")
     bench.loop.run(3.0)
-    assert len(bench.answers) == 1 and (bench.core.faults > 0 or event is api.ClientDisconnected)
+    assert len(bench.responses) == 1 and (
+        bench.dispatcher.decision_faults > 0 or event is api.ClientDisconnected
+    )
 
 
-def test_a_module_that_decides_nothing_is_answered_for(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_request_without_a_decision_is_rejected_at_its_deadline(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(DecisionEngine, "handle", lambda *_: [])
-    bench = Bench()
-    bench.ask()
+    bench = DispatcherBench()
+    bench.submit()
     bench.loop.run(1.99)
-    assert [type(answer) for answer in bench.answers] == [Rejected]
+    assert [type(answer) for answer in bench.responses] == [Rejected]
 
 
-def test_one_attempt_at_a_time_and_none_after_the_answer(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_one_attempt_at_a_time_and_none_after_the_response(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(
         DecisionEngine,
         "handle",
-        lambda self, now, got: (
-            [api.SendAttempt(got.id, 1, 500.0), api.SendAttempt(got.id, 1, 500.0)]
-            if isinstance(got, api.Request)
+        lambda self, now, event: (
+            [api.SendAttempt(event.id, 1, 500.0), api.SendAttempt(event.id, 1, 500.0)]
+            if isinstance(event, api.Request)
             else []
         ),
     )
-    bench = Bench()
-    bench.ask()
-    assert len(bench.link.executions) == 1
+    bench = DispatcherBench()
+    bench.submit()
+    assert len(bench.upstream.attempts) == 1
     monkeypatch.setattr(
         DecisionEngine,
         "handle",
-        lambda self, now, got: (
-            [api.Reject(got.id), api.SendAttempt(got.id, 1, 500.0)] if isinstance(got, api.Request) else []
+        lambda self, now, event: (
+            [api.Reject(event.id), api.SendAttempt(event.id, 1, 500.0)]
+            if isinstance(event, api.Request)
+            else []
         ),
     )
-    bench.ask()
-    assert len(bench.link.executions) == 1 and len(bench.answers) == 1
+    bench.submit()
+    assert len(bench.upstream.attempts) == 1 and len(bench.responses) == 1
 
 
-def test_a_client_that_left_is_owed_nothing_and_its_attempt_is_given_up() -> None:
-    bench = Bench()
-    left = bench.ask()
-    bench.last.written()
+def test_a_disconnected_client_gets_no_response_and_its_attempt_is_aborted() -> None:
+    bench = DispatcherBench()
+    disconnect = bench.submit()
+    bench.last_attempt.written()
     released: list[bool] = []
-    bench.last.on_abandon = lambda: released.append(True)
-    left()
+    bench.last_attempt.on_abort = lambda: released.append(True)
+    disconnect()
     bench.loop.run(3.0)
-    assert bench.answers == [] and released == [True] and bench.last.final
+    assert bench.responses == [] and released == [True] and bench.last_attempt.final
 
 
-def test_a_refusal_after_an_attempt_that_may_have_run_says_so() -> None:
-    bench = Bench(max_attempts=1)
-    bench.ask("load-send", key="k")
-    bench.last.written()
-    bench.last.lost("reset")
+def test_a_rejection_after_an_attempt_that_may_have_run_says_so() -> None:
+    bench = DispatcherBench(max_attempts=1)
+    bench.submit("load-send", idempotency_key="k")
+    bench.last_attempt.written()
+    bench.last_attempt.connection_lost("reset")
     bench.loop.run()
-    assert isinstance(bench.answers[0], Rejected) and bench.answers[0].may_have_run
+    assert isinstance(bench.responses[0], Rejected) and bench.responses[0].may_have_run
 
 
-def test_a_repeat_is_not_sent_after_its_window() -> None:
-    bench = Bench()
-    bench.ask("load-send", key="k", send_by_ms=NOW_MS)
-    assert not bench.link.executions and len(bench.answers) == 1
+def test_no_attempt_is_sent_after_its_send_by_time() -> None:
+    bench = DispatcherBench()
+    bench.submit("load-send", idempotency_key="k", send_by_ms=NOW_MS)
+    assert not bench.upstream.attempts and len(bench.responses) == 1
 
 
-def test_a_repeat_whose_connection_comes_up_after_the_window_is_not_written() -> None:
-    """The window was looked at before the connection was made, which may take as long as it."""
-    bench = Bench()
-    bench.ask("load-send", key="k")
-    assert bench.last.may_be_written(bench.loop.clock() + 1500.0)  # nothing may have run: no window yet
-    bench.last.written()
-    bench.last.lost("reset")
+def test_a_retry_is_not_written_after_the_deduplication_window() -> None:
+    """Regression: the window was checked before the connection was made, which may take as long as it."""
+    bench = DispatcherBench()
+    bench.submit("load-send", idempotency_key="k")
+    assert bench.last_attempt.may_be_written(
+        bench.loop.clock() + 1500.0
+    )  # nothing may have run: no window yet
+    bench.last_attempt.written()
+    bench.last_attempt.connection_lost("reset")
     bench.loop.run(0.1)
-    assert len(bench.link.executions) == 2 and bench.last.may_be_written(NOW_MS + 900.0)
-    assert not bench.last.may_be_written(NOW_MS + 1000.0)
+    assert len(bench.upstream.attempts) == 2 and bench.last_attempt.may_be_written(NOW_MS + 900.0)
+    assert not bench.last_attempt.may_be_written(NOW_MS + 1000.0)
 
 
 @pytest.mark.parametrize("first", ["answer", "cancel", "deadline", "client leaves"])
-def test_an_answer_and_its_time_out_in_one_turn_make_one_answer_and_one_outcome(
+def test_a_response_and_a_timeout_in_one_batch_make_one_response_and_one_outcome(
     first: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """Whichever comes first counts, and the module hears of the same."""
+    """Whichever comes first counts, and the decision module is notified of the same."""
     outcomes: list[api.AttemptOutcome] = []
     real = DecisionEngine.handle
 
-    def heard(self: DecisionEngine, now: float, got: api.Event) -> list[api.Action]:
-        if isinstance(got, api.AttemptOutcome):
-            outcomes.append(got)
-        return real(self, now, got)
+    def recorded(self: DecisionEngine, now: float, event: api.Event) -> list[api.Action]:
+        if isinstance(event, api.AttemptOutcome):
+            outcomes.append(event)
+        return real(self, now, event)
 
-    monkeypatch.setattr(DecisionEngine, "handle", heard)
-    bench = Bench()
-    left = bench.ask("once")
-    one = bench.last
-    one.written()
+    monkeypatch.setattr(DecisionEngine, "handle", recorded)
+    bench = DispatcherBench()
+    disconnect = bench.submit("once")
+    attempt = bench.last_attempt
+    attempt.written()
     steps: dict[str, Callable[[], object]] = {
-        "answer": lambda: one.served(b"value"),
-        "cancel": lambda: bench.core.post(bench.core._act, 0.0, api.CancelAttempt("1", 0)),
-        "deadline": lambda: bench.core.post(bench.core._overdue, bench.core._running["1"]),
-        "client leaves": left,
+        "answer": lambda: attempt.succeeded(b"value"),
+        "cancel": lambda: bench.dispatcher.post(bench.dispatcher._execute, 0.0, api.CancelAttempt("1", 0)),
+        "deadline": lambda: bench.dispatcher.post(
+            bench.dispatcher._deadline_expired, bench.dispatcher._pending["1"]
+        ),
+        "client leaves": disconnect,
     }
     steps[first]()
     if first != "answer":
-        bench.core.post(lambda: one.served(b"value"))
+        bench.dispatcher.post(lambda: attempt.succeeded(b"value"))
     else:
         for other in ("cancel", "deadline", "client leaves"):
             steps[other]()
     bench.loop.run(3.0)
     verdicts = {"answer": api.Verdict.OK, "deadline": api.Verdict.TIMEOUT}
-    assert [got.verdict for got in outcomes] == [verdicts.get(first, api.Verdict.CANCELLED)]
-    assert [type(got) for got in bench.answers] == {"answer": [Served], "client leaves": []}.get(
+    assert [outcome.verdict for outcome in outcomes] == [verdicts.get(first, api.Verdict.CANCELLED)]
+    assert [type(response) for response in bench.responses] == {"answer": [Served], "client leaves": []}.get(
         first, [Failed]
     )
-    assert not bench.core._running and len(bench.link.executions) == 1
-
+    assert not bench.dispatcher._pending and len(bench.upstream.attempts) == 1
 
-@pytest.mark.parametrize("waits", [False, True])
-def test_a_query_that_new_settings_overtook_is_refused_and_not_repeated_by_them(waits: bool) -> None:
-    """It was checked and written by the old rule on repeats, and repeated by the new one: a class that had
-    become safe to repeat got a second attempt of a request that was not."""
-    bench = Bench()
-    turn: list[Any] = []
 
-    def wait(run: Any, left: float) -> bool:
-        turn.append(run)
+@pytest.mark.parametrize(
+    "reserved_wait",
+    [pytest.param(False, id="before the decision"), pytest.param(True, id="while waiting for units")],
+)
+def test_a_request_overtaken_by_new_settings_is_rejected_and_not_retried(reserved_wait: bool) -> None:
+    """Regression: it was validated and written by the old rule on retries, and retried by the new one: a class
+    that had become idempotent got a second attempt of a request that was not."""
+    bench = DispatcherBench()
+    waiting: list[Any] = []
+
+    def wait(pending: Any, remaining_ms: float) -> bool:
+        waiting.append(pending)
         return True
 
-    if waits:  # for its contract's turn
-        bench.core._guarantee = SimpleNamespace(draw=lambda run: False, waits=wait)  # type: ignore[assignment]
-        bench.ask("once")
-    safe = replace(UNSAFE, idempotency=api.Idempotency.IDEMPOTENT)
-    bench.core.retune(settings(has_counter=False, classes=(AIM, KEYED, safe)))
-    if waits:
-        bench.core.post(bench.core._turn, turn[0])
+    if reserved_wait:  # for reserved units
+        bench.dispatcher._reserved_admission = SimpleNamespace(reserve=lambda pending: False, enqueue=wait)  # type: ignore[assignment]
+        bench.submit("once")
+    idempotent = replace(NOT_IDEMPOTENT_CLASS, idempotency=api.Idempotency.IDEMPOTENT)
+    bench.dispatcher.update_settings(
+        settings(has_counter=False, classes=(IDEMPOTENT_CLASS, KEYED_CLASS, idempotent))
+    )
+    if reserved_wait:
+        bench.dispatcher.post(bench.dispatcher._reservation_wait_ended, waiting[0])
         bench.loop.run()
     else:
-        bench.ask("once")
-    for execution in bench.link.executions:
-        execution.written()
-        execution.lost("reset")
+        bench.submit("once")
+    for attempt in bench.upstream.attempts:
+        attempt.written()
+        attempt.connection_lost("reset")
     bench.loop.run()
-    assert not bench.link.executions and [type(answer) for answer in bench.answers] == [Rejected]
+    assert not bench.upstream.attempts and [type(answer) for answer in bench.responses] == [Rejected]
 
 
-def test_the_last_word_on_a_full_core() -> None:
-    bench = Bench()
-    bench.core._running.update({str(-n): None for n in range(1, 10_001)})  # type: ignore[misc]
-    bench.ask()
-    assert isinstance(bench.answers[0], Rejected) and not bench.link.executions
+def test_a_full_dispatcher_rejects_without_an_attempt() -> None:
+    bench = DispatcherBench()
+    bench.dispatcher._pending.update({str(-n): None for n in range(1, 10_001)})  # type: ignore[misc]
+    bench.submit()
+    assert isinstance(bench.responses[0], Rejected) and not bench.upstream.attempts
 
 
-def test_bodies_are_bounded() -> None:
-    bench = Bench()
+def test_the_bodies_of_pending_requests_are_bounded() -> None:
+    bench = DispatcherBench()
     for _ in range(600):
-        bench.ask(body=b"x" * 65_536)
-    assert sum(isinstance(answer, Rejected) for answer in bench.answers) >= 600 - 512
+        bench.submit(body=b"x" * 65_536)
+    assert sum(isinstance(answer, Rejected) for answer in bench.responses) >= 600 - 512
 
 
 @pytest.mark.parametrize(
     ("stage", "method", "verdict"),
     [
-        (AttemptStage.NOT_WRITTEN, "lost", api.Verdict.CONNECT_FAILED),
-        (AttemptStage.WRITTEN, "lost", api.Verdict.RESET),
-        (AttemptStage.NOT_WRITTEN, "turned_away", api.Verdict.QUEUE_FULL),
-        (AttemptStage.WRITTEN, "error", api.Verdict.ERROR),
-        (AttemptStage.WRITTEN, "abandon", api.Verdict.TIMEOUT),
-        (AttemptStage.NOT_WRITTEN, "abandon", api.Verdict.CONNECT_FAILED),
-        ("begun", "abandon", api.Verdict.TIMEOUT),  # the rest may go out before the link hears of it
-        ("begun", "lost", api.Verdict.CONNECT_FAILED),
+        (AttemptStage.NOT_WRITTEN, "connection_lost", api.Verdict.CONNECT_FAILED),
+        (AttemptStage.WRITTEN, "connection_lost", api.Verdict.RESET),
+        (AttemptStage.NOT_WRITTEN, "rejected", api.Verdict.QUEUE_FULL),
+        (AttemptStage.WRITTEN, "failed", api.Verdict.ERROR),
+        (AttemptStage.WRITTEN, "abort", api.Verdict.TIMEOUT),
+        (AttemptStage.NOT_WRITTEN, "abort", api.Verdict.CONNECT_FAILED),
+        (
+            "write started",
+            "abort",
+            api.Verdict.TIMEOUT,
+        ),  # the rest may go out before the upstream hears of it
+        ("write started", "connection_lost", api.Verdict.CONNECT_FAILED),
     ],
 )
-def test_an_end_carries_how_far_the_attempt_had_come(stage: Any, method: str, verdict: api.Verdict) -> None:
+def test_the_verdict_of_an_ended_attempt_depends_on_its_stage(
+    stage: Any, method: str, verdict: api.Verdict
+) -> None:
     ends: list[Any] = []
-    one = Attempt(Request("r", "c", "p", 1, 1.0, 1.0, 1), 0, 1, 0.0, 1.0, lambda _, end: ends.append(end))
+    attempt = Attempt(Request("r", "c", "p", 1, 1.0, 1.0, 1), 0, 1, 0.0, 1.0, lambda _, end: ends.append(end))
     if stage is AttemptStage.WRITTEN:
-        one.written()
-    one.begun = stage != AttemptStage.NOT_WRITTEN
-    getattr(one, method)(api.Verdict.TIMEOUT if method == "abandon" else "why")
-    one.lost("a second end does not count")
-    reached = AttemptStage.NOT_WRITTEN if stage == "begun" else stage
-    assert [(end.verdict, end.reached) for end in ends] == [(verdict, reached)]
+        attempt.written()
+    attempt.write_started = stage != AttemptStage.NOT_WRITTEN
+    getattr(attempt, method)(api.Verdict.TIMEOUT if method == "abort" else "why")
+    attempt.connection_lost("a second end does not count")
+    reached = AttemptStage.NOT_WRITTEN if stage == "write started" else stage
+    assert [(end.verdict, end.stage) for end in ends] == [(verdict, reached)]
 
 
-def test_a_message_that_fails_costs_none_behind_it() -> None:
+def test_a_failing_message_does_not_affect_later_messages() -> None:
     loop = FakeLoop()
     done: list[int] = []
     actor = Actor(ActorScheduler(loop))
@@ -377,8 +316,8 @@
     assert done == [1]
 
 
-def test_the_clock_follows_the_system_and_never_runs_back_nor_stands_still() -> None:
-    """Set back by an hour it stood still for an hour: no quota was refilled, and all were refused."""
+def test_the_wall_clock_follows_system_time_and_never_runs_back_or_stands_still() -> None:
+    """Regression: set back by an hour it stood still for an hour: no quota refilled, and all were rejected."""
     at = {"mono": 0.0, "unix": 1000.0}
     clock = WallClock(lambda: at["mono"], lambda: at["unix"])
     assert clock() == 1_000_000.0
@@ -390,21 +329,21 @@
     assert clock() == 1_100_000.0
 
 
-def test_a_gateway_without_time_refuses_unseen_and_takes_up_again() -> None:
-    """Where the event loop ran late all was decided on, and answered too late."""
-    bench = Bench()
-    bench.core.lagged(300.0)  # one stall is no overload: an aim is 400 ms
-    bench.ask()
-    assert len(bench.link.executions) == 1
+def test_loop_lag_sheds_load_until_it_is_over() -> None:
+    """Regression: where the event loop ran late all was decided on, and answered too late."""
+    bench = DispatcherBench()
+    bench.dispatcher.record_loop_lag(300.0)  # one stall is no overload: the objective is 400 ms
+    bench.submit()
+    assert len(bench.upstream.attempts) == 1
     for _ in range(30):
-        bench.core.lagged(300.0)
+        bench.dispatcher.record_loop_lag(300.0)
     for _ in range(100):
-        bench.ask()
-    refused = [answer for answer in bench.answers if isinstance(answer, Rejected)]
-    assert len(refused) >= 80 and all(answer.retry_after_ms > 0 for answer in refused)
+        bench.submit()
+    rejected = [answer for answer in bench.responses if isinstance(answer, Rejected)]
+    assert len(rejected) >= 80 and all(answer.retry_after_ms > 0 for answer in rejected)
     for _ in range(50):
-        bench.core.lagged(0.0)
-    before = len(bench.link.executions)
-    bench.last.served(b"value")
-    bench.ask()
-    assert len(bench.link.executions) == before + 1
+        bench.dispatcher.record_loop_lag(0.0)
+    before = len(bench.upstream.attempts)
+    bench.last_attempt.succeeded(b"value")
+    bench.submit()
+    assert len(bench.upstream.attempts) == before + 1
--- a/tests/gateway/test_quota_counter_faults.py
+++ b/tests/gateway/test_quota_counter_faults.py
@@ -15,8 +15,8 @@
 import pytest
 
 from badgeryoke.decisions.interface import CounterReply, Verdict
-from badgeryoke.gateway import actor
-from badgeryoke.gateway.actor import new_socket
+from badgeryoke.gateway import connecting
+from badgeryoke.gateway.connecting import new_socket
 from badgeryoke.gateway.quota_counter.client import (
     INITIAL_BACKOFF_S,
     MAX_BACKOFF_S,
@@ -124,7 +124,7 @@
             real = calls.client._schedule_connect
             calls.client._schedule_connect = waits.append  # type: ignore[assignment, method-assign]
             with monkeypatch.context() as full:
-                full.setattr(actor, "new_socket", none)
+                full.setattr(connecting, "new_socket", none)
                 await close_connections(counter, True)
                 await until(lambda: waits)
                 assert (await calls.call(7)).verdict is Verdict.CONNECT_FAILED
@@ -149,7 +149,7 @@
         made.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2048)
         return made
 
-    monkeypatch.setattr(actor, "new_socket", small)
+    monkeypatch.setattr(connecting, "new_socket", small)
 
     async def test() -> None:
         async with StuckCounter() as counter:
--- a/tests/support/connection_leases.py
+++ b/tests/support/connection_leases.py
@@ -104,7 +104,14 @@
         now = boot_time_ms()
         made = Attempt(
             Request(
-                f"{len(self.attempt_ends):016x}", "c", "p", ord(self.name), deadline_ms, 1.0, 1, safe=True
+                f"{len(self.attempt_ends):016x}",
+                "c",
+                "p",
+                ord(self.name),
+                deadline_ms,
+                1.0,
+                1,
+                idempotent=True,
             ),
             0,
             1,
--- a/tests/support/running.py
+++ b/tests/support/running.py
@@ -29,7 +29,7 @@
 
 async def ask(app: GatewayApplication, *commands: bytes) -> list[object]:
     """The replies to RESP commands that are sent at once, on a connection of their own."""
-    reader, writer = await connect(app.address)
+    reader, writer = await connect(app.lifecycle.address)
     writer.write(b"".join(commands))
     answers = [await read_reply(reader) for _ in commands]
     writer.close()
