Check names, docs, complexity and import circles in lint

Cause: naming, documentation of public items and import circles were nobody's to check. A third import contract forbids circles between the parts of a package: the interface of a state machine's part stands in cluster.state_machine_part, validation by msgspec types in gateway.struct_validation.

--- a/badgeryoke/cluster/call_router.py
+++ b/badgeryoke/cluster/call_router.py
@@ -33,7 +33,7 @@
 from badgeryoke.cluster.placement.rendezvous import group_for_key
 from badgeryoke.cluster.replica_host import ReplicaHost
 from badgeryoke.cluster.state_machine.command_registry import decode_command, encode_command
-from badgeryoke.cluster.state_machine.part import ApplyResult, Command
+from badgeryoke.cluster.state_machine_part import ApplyResult, Command
 
 MAX_PENDING_CALLS = 4096  # calls of this gateway without an answer; more are rejected
 MAX_HOPS = 3  # sent with a forwarded call
--- a/badgeryoke/cluster/connection_limits/commands.py
+++ b/badgeryoke/cluster/connection_limits/commands.py
@@ -13,7 +13,7 @@
 
 from badgeryoke.cluster.connection_limits.holders import machine_of, server_bucket
 from badgeryoke.cluster.messages import MemberId
-from badgeryoke.cluster.state_machine.part import Command
+from badgeryoke.cluster.state_machine_part import Command
 
 MAX_REQUESTS_PER_CALL = 256  # servers in one call; the others go with the next
 MAX_LIMIT = 1_000_000  # connections
--- a/badgeryoke/cluster/connection_limits/lease_holder.py
+++ b/badgeryoke/cluster/connection_limits/lease_holder.py
@@ -35,7 +35,7 @@
 from badgeryoke.cluster.invariants import Invariants, Rule
 from badgeryoke.cluster.leases.lease import EPSILON
 from badgeryoke.cluster.messages import MemberId
-from badgeryoke.cluster.state_machine.part import ApplyResult, Command
+from badgeryoke.cluster.state_machine_part import ApplyResult, Command
 from badgeryoke.cluster.timings import Timings
 
 # interval between two requests from which on a server's limit counts as forgotten, not as still to come
--- a/badgeryoke/cluster/connection_limits/limits.py
+++ b/badgeryoke/cluster/connection_limits/limits.py
@@ -29,7 +29,7 @@
 from badgeryoke.cluster.leases.lease import EPSILON, LeaseGrant, LeaseRequest, LeaseShare
 from badgeryoke.cluster.leases.lease_pool import LeasePool
 from badgeryoke.cluster.messages import MemberId
-from badgeryoke.cluster.state_machine.part import ApplyResult, Command, LeaderView
+from badgeryoke.cluster.state_machine_part import ApplyResult, Command, LeaderView
 from badgeryoke.cluster.timings import Timings
 
 MAX_SERVERS = 4096  # of one group; more limits are rejected
--- a/badgeryoke/cluster/connection_limits/server_connections.py
+++ b/badgeryoke/cluster/connection_limits/server_connections.py
@@ -5,7 +5,7 @@
 import math
 from dataclasses import dataclass
 
-from badgeryoke.cluster.state_machine.part import Command
+from badgeryoke.cluster.state_machine_part import Command
 
 MIN_REQUEST_INTERVAL_MS = 200.0  # between two requests for more; doubled while nothing is granted
 MAX_RETRY_DOUBLINGS = 8
--- a/badgeryoke/cluster/events.py
+++ b/badgeryoke/cluster/events.py
@@ -8,7 +8,7 @@
 
 from badgeryoke.cluster.errors import ClusterError
 from badgeryoke.cluster.messages import AnyMessage, GroupConfiguration, LogEntry, MemberId
-from badgeryoke.cluster.state_machine.part import Command
+from badgeryoke.cluster.state_machine_part import Command
 
 # Records of one group on stable storage
 
--- a/badgeryoke/cluster/key_value.py
+++ b/badgeryoke/cluster/key_value.py
@@ -5,7 +5,7 @@
 from typing import Any, ClassVar
 
 from badgeryoke.cluster.errors import Overloaded
-from badgeryoke.cluster.state_machine.part import ApplyResult, Command, LeaderView
+from badgeryoke.cluster.state_machine_part import ApplyResult, Command, LeaderView
 
 MAX_BYTES = 16 * 1024 * 1024  # of all names and values in one group, a part of what a snapshot may take
 MIN_ENTRY_BYTES = 2048  # what an entry counts for at least: so there are 8192 at most
--- a/badgeryoke/cluster/leader_duties.py
+++ b/badgeryoke/cluster/leader_duties.py
@@ -14,7 +14,7 @@
 from badgeryoke.cluster.raft.node import RaftNode
 from badgeryoke.cluster.replica_host import ReplicaHost
 from badgeryoke.cluster.state_machine.machine import GroupStateMachine
-from badgeryoke.cluster.state_machine.part import FLEET, Command, LeaderView
+from badgeryoke.cluster.state_machine_part import FLEET, Command, LeaderView
 
 MAX_PENDING_TASKS = 1024  # proposals of leaders here without an answer; further ones wait
 MAX_HEARD_IDS = 8192  # ids heard by one process; further ones are not counted on
--- a/badgeryoke/cluster/node.py
+++ b/badgeryoke/cluster/node.py
@@ -54,7 +54,7 @@
 from badgeryoke.cluster.raft.node import RaftNode
 from badgeryoke.cluster.replica_host import ReplicaHost
 from badgeryoke.cluster.state_machine.machine import GroupStateMachine
-from badgeryoke.cluster.state_machine.part import Command
+from badgeryoke.cluster.state_machine_part import Command
 
 __all__ = ["ANY_SERVER", "BOOTSTRAP_GROUP", "ClusterNode", "LeaseClient", "Member", "NodeSetup"]
 
--- a/badgeryoke/cluster/node_setup.py
+++ b/badgeryoke/cluster/node_setup.py
@@ -7,7 +7,7 @@
 
 from badgeryoke.cluster.errors import ClusterError
 from badgeryoke.cluster.messages import MemberId
-from badgeryoke.cluster.state_machine.part import ApplyResult, Command
+from badgeryoke.cluster.state_machine_part import ApplyResult, Command
 from badgeryoke.cluster.timings import Timings
 
 ANY_SERVER = "*"  # in `NodeSetup.connection_limits`: each server that is not named
--- a/badgeryoke/cluster/placement/commands.py
+++ b/badgeryoke/cluster/placement/commands.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from badgeryoke.cluster.messages import MemberId, member_name
-from badgeryoke.cluster.state_machine.part import Command
+from badgeryoke.cluster.state_machine_part import Command
 
 MAX_NAME_LENGTH = 64
 MAX_VOTERS = 16
--- a/badgeryoke/cluster/placement/directory.py
+++ b/badgeryoke/cluster/placement/directory.py
@@ -30,7 +30,7 @@
 from badgeryoke.cluster.placement.initial_placement import initial_placement
 from badgeryoke.cluster.placement.repair import FirstSeen, RepairPlanner
 from badgeryoke.cluster.placement.state import EnrolledMember, GroupPlacement, PlacementState, ReplicaMove
-from badgeryoke.cluster.state_machine.part import ApplyResult, LeaderView
+from badgeryoke.cluster.state_machine_part import ApplyResult, LeaderView
 from badgeryoke.cluster.timings import Timings
 
 MAX_PAST_IDS = 4  # superseded ids remembered of a name: none of them can come back
--- a/badgeryoke/cluster/placement/initial_placement.py
+++ b/badgeryoke/cluster/placement/initial_placement.py
@@ -7,7 +7,7 @@
 from badgeryoke.cluster.bootstrap_record import BootstrapRecord
 from badgeryoke.cluster.messages import MemberId
 from badgeryoke.cluster.placement.rendezvous import group_name, rendezvous_score
-from badgeryoke.cluster.state_machine.part import FLEET
+from badgeryoke.cluster.state_machine_part import FLEET
 
 
 def replica_count(replication_factor: int, member_count: int) -> int:
--- a/badgeryoke/cluster/placement/rendezvous.py
+++ b/badgeryoke/cluster/placement/rendezvous.py
@@ -10,7 +10,7 @@
 
 import xxhash
 
-from badgeryoke.cluster.state_machine.part import FLEET
+from badgeryoke.cluster.state_machine_part import FLEET
 
 MAX_CACHED_KEYS = 8192
 
--- a/badgeryoke/cluster/placement/repair.py
+++ b/badgeryoke/cluster/placement/repair.py
@@ -19,7 +19,7 @@
 )
 from badgeryoke.cluster.placement.rendezvous import rendezvous_score
 from badgeryoke.cluster.placement.state import EnrolledMember, GroupPlacement, PlacementState, ReplicaMove
-from badgeryoke.cluster.state_machine.part import FLEET, LeaderView
+from badgeryoke.cluster.state_machine_part import FLEET, LeaderView
 
 MAX_MOVE_DURATION_MS = 60_000.0  # for a learner to catch up; it is not chosen again for as long
 MIN_REBALANCE_GAIN = 2  # replicas of difference below which a move would only turn the difference around
--- a/badgeryoke/cluster/placement/state.py
+++ b/badgeryoke/cluster/placement/state.py
@@ -9,7 +9,7 @@
 
 from badgeryoke.cluster.messages import GroupConfiguration, MemberId, member_name
 from badgeryoke.cluster.placement.initial_placement import replica_count
-from badgeryoke.cluster.state_machine.part import LeaderView
+from badgeryoke.cluster.state_machine_part import LeaderView
 
 
 class EnrolledMember(NamedTuple):
--- a/badgeryoke/cluster/placement_follower.py
+++ b/badgeryoke/cluster/placement_follower.py
@@ -16,7 +16,7 @@
 from badgeryoke.cluster.placement.directory import PlacementDirectory
 from badgeryoke.cluster.raft.node import RaftNode
 from badgeryoke.cluster.replica_host import ReplicaHost
-from badgeryoke.cluster.state_machine.part import ApplyResult
+from badgeryoke.cluster.state_machine_part import ApplyResult
 
 LAGGING_AFTER_MS = 1000.0  # a voter that has not caught up for so long is reported
 IDLE_READ_INTERVAL_MS = 3000.0  # where nothing is led here: to know whom to ask
--- a/badgeryoke/cluster/replica_host.py
+++ b/badgeryoke/cluster/replica_host.py
@@ -24,7 +24,7 @@
 from badgeryoke.cluster.placement.initial_placement import initial_placement
 from badgeryoke.cluster.raft.node import RaftNode
 from badgeryoke.cluster.state_machine.machine import GroupStateMachine
-from badgeryoke.cluster.state_machine.part import FLEET
+from badgeryoke.cluster.state_machine_part import FLEET
 
 # Called with the time and what became of a proposal, a read or a change of members: a result of its kind, or an error.
 CompletionHandler = Callable[[float, Any], list[Effect]]
--- a/badgeryoke/cluster/reservations/admission.py
+++ b/badgeryoke/cluster/reservations/admission.py
@@ -68,7 +68,7 @@
 from badgeryoke.cluster.reservations.reserved_capacity import ReservedCapacity
 from badgeryoke.cluster.reservations.retry_schedule import RetrySchedule
 from badgeryoke.cluster.reservations.terms import ContractTerms, expand_windows
-from badgeryoke.cluster.state_machine.part import ApplyResult, Command, LeaderView
+from badgeryoke.cluster.state_machine_part import ApplyResult, Command, LeaderView
 from badgeryoke.cluster.timings import Timings
 
 MAX_CONTRACTS = 1000  # in the cluster, not settled; more are rejected
@@ -100,7 +100,7 @@
     # ------------------------------------------------------------------------------------
 
     def apply(self, at_ms: float, command: Command) -> ApplyResult:
-        """See badgeryoke.cluster.state_machine.part."""
+        """See badgeryoke.cluster.state_machine_part."""
         if problem := command.validate():
             return ApplyResult(error=InvalidCall(contract_of(command) or "capacity", problem))
         for contract in self.contracts.values():
@@ -265,7 +265,7 @@
     # ------------------------------------------------------------------------------------
 
     def leader_tasks(self, view: LeaderView) -> list[Command]:
-        """See badgeryoke.cluster.state_machine.part.  States the measured capacity, moves contracts on with
+        """See badgeryoke.cluster.state_machine_part.  States the measured capacity, moves contracts on with
         time, and opens versions at the tenants' groups."""
         tasks: list[Command] = [*self._restate_capacity(view)]
         tail_ms = self.lease_tail_ms
@@ -313,13 +313,13 @@
         return tasks
 
     def seen(self, now: float) -> None:
-        """See badgeryoke.cluster.state_machine.part.  Nothing here expires by this machine's clock."""
+        """See badgeryoke.cluster.state_machine_part.  Nothing here expires by this machine's clock."""
 
     # Answers and snapshots
     # ------------------------------------------------------------------------------------
 
     def query(self, command: Command) -> ApplyResult:
-        """See badgeryoke.cluster.state_machine.part."""
+        """See badgeryoke.cluster.state_machine_part."""
         match command:
             case PollContracts():
                 return ApplyResult(self._contracts_answer(command.known_revision))
@@ -342,7 +342,7 @@
         return answer
 
     def dump(self) -> Any:
-        """See badgeryoke.cluster.state_machine.part."""
+        """See badgeryoke.cluster.state_machine_part."""
         reserved = self.reserved_capacity
         return [
             [reserved.capacity, reserved.reserve_fraction, reserved.unreserved_rate],
@@ -353,7 +353,7 @@
         ]
 
     def load(self, raw: Any) -> None:
-        """See badgeryoke.cluster.state_machine.part."""
+        """See badgeryoke.cluster.state_machine_part."""
         reserved = self.reserved_capacity
         figures, reserved.zones, counters, reserved.overcommitted, records = raw
         reserved.capacity, reserved.reserve_fraction, reserved.unreserved_rate = figures
--- a/badgeryoke/cluster/reservations/commands.py
+++ b/badgeryoke/cluster/reservations/commands.py
@@ -22,7 +22,7 @@
     validate_contract_name,
     validate_counter,
 )
-from badgeryoke.cluster.state_machine.part import Command
+from badgeryoke.cluster.state_machine_part import Command
 
 MAX_SLICES_PER_REPORT = 256
 MAX_ZONES = 64
@@ -46,7 +46,7 @@
     zones: dict[str, float] = msgspec.field(default_factory=dict, name="halls")
 
     def validate(self) -> str:
-        """See badgeryoke.cluster.state_machine.part."""
+        """See badgeryoke.cluster.state_machine_part."""
         if not 0.0 <= self.capacity <= MAX_RATE or not 0.0 <= self.unreserved_rate <= MAX_RATE:
             return "units: expected 0 to 1e9, and floor as well"
         if len(self.zones) > MAX_ZONES or not all(0.0 <= zone <= MAX_RATE for zone in self.zones.values()):
@@ -69,7 +69,7 @@
     terms: ContractTerms
 
     def validate(self) -> str:
-        """See badgeryoke.cluster.state_machine.part."""
+        """See badgeryoke.cluster.state_machine_part."""
         return validate_contract_name(self.contract) or self.terms.validate()
 
 
@@ -80,7 +80,7 @@
     effective_from_ms: float = msgspec.field(name="holds_from_ms")  # Unix ms
 
     def validate(self) -> str:
-        """See badgeryoke.cluster.state_machine.part."""
+        """See badgeryoke.cluster.state_machine_part."""
         if not 0.0 < self.effective_from_ms < math.inf:
             return "holds_from_ms: expected a moment, Unix ms"
         return validate_contract_name(self.contract) or self.terms.validate()
@@ -96,7 +96,7 @@
     version: int
 
     def validate(self) -> str:
-        """See badgeryoke.cluster.state_machine.part."""
+        """See badgeryoke.cluster.state_machine_part."""
         return validate_counter("version", self.version)
 
 
@@ -112,7 +112,7 @@
     since_ms: float
 
     def validate(self) -> str:
-        """See badgeryoke.cluster.state_machine.part."""
+        """See badgeryoke.cluster.state_machine_part."""
         if not 0 < len(self.reporter) <= MAX_NAME_LENGTH or not 0 < len(self.cause) <= MAX_CAUSE_LENGTH:
             return "by: expected a name, and a cause"
         if not (0.0 < self.units < math.inf and 0.0 <= self.since_ms < math.inf):
@@ -141,7 +141,7 @@
     known_revision: int = msgspec.field(default=-1, name="have")
 
     def validate(self) -> str:
-        """See badgeryoke.cluster.state_machine.part."""
+        """See badgeryoke.cluster.state_machine_part."""
         return validate_counter("have", self.known_revision + 1)
 
 
@@ -156,7 +156,7 @@
     contract: str
 
     def key(self) -> str:
-        """See badgeryoke.cluster.state_machine.part."""
+        """See badgeryoke.cluster.state_machine_part."""
         return f"t:{self.tenant}"
 
 
@@ -170,7 +170,7 @@
     effective_from_ms: float = msgspec.field(name="holds_from_ms")
 
     def validate(self) -> str:
-        """See badgeryoke.cluster.state_machine.part."""
+        """See badgeryoke.cluster.state_machine_part."""
         valid = (
             1 <= self.version < MAX_COUNTER and 0.0 < self.rate <= MAX_RATE and 0.0 <= self.burst <= MAX_RATE
         )
@@ -198,7 +198,7 @@
     sequence: int = msgspec.field(default=0, name="order")
 
     def validate(self) -> str:
-        """See badgeryoke.cluster.state_machine.part."""
+        """See badgeryoke.cluster.state_machine_part."""
         amounts = (
             self.kept_rate,
             self.wanted_rate,
@@ -242,7 +242,7 @@
     slices: tuple[UsageSlice, ...]
 
     def validate(self) -> str:
-        """See badgeryoke.cluster.state_machine.part."""
+        """See badgeryoke.cluster.state_machine_part."""
         valid = all(
             0 <= number <= MAX_SLICE_NUMBER and 0.0 <= requested <= MAX_RATE and 0.0 <= drawn <= MAX_RATE
             for number, requested, drawn in self.slices
@@ -261,7 +261,7 @@
     lease_number: int = msgspec.field(name="number")
 
     def validate(self) -> str:
-        """See badgeryoke.cluster.state_machine.part."""
+        """See badgeryoke.cluster.state_machine_part."""
         return validate_counter("number", self.lease_number)
 
 
--- a/badgeryoke/cluster/reservations/guaranteed_rates.py
+++ b/badgeryoke/cluster/reservations/guaranteed_rates.py
@@ -33,7 +33,7 @@
     SETTLEMENT_DELAY_SLICES,
     SLICE_MS,
 )
-from badgeryoke.cluster.state_machine.part import ApplyResult, Command, LeaderView
+from badgeryoke.cluster.state_machine_part import ApplyResult, Command, LeaderView
 from badgeryoke.cluster.timings import Timings
 
 MAX_CONTRACTS_PER_GROUP = 1000
@@ -56,7 +56,7 @@
     # ------------------------------------------------------------------------------------
 
     def apply(self, at_ms: float, command: Command) -> ApplyResult:
-        """See badgeryoke.cluster.state_machine.part."""
+        """See badgeryoke.cluster.state_machine_part."""
         if not isinstance(command, TenantCommand):
             return _unknown_command(command)
         if problem := command.validate():
@@ -200,7 +200,7 @@
     # ------------------------------------------------------------------------------------
 
     def leader_tasks(self, view: LeaderView) -> list[Command]:
-        """See badgeryoke.cluster.state_machine.part.  Releases leases that have expired by this machine's
+        """See badgeryoke.cluster.state_machine_part.  Releases leases that have expired by this machine's
         clock, notifies of drained versions, and lets versions and settlement go on with time."""
         self.seen(view.now)
         return [
@@ -275,7 +275,7 @@
         return tasks
 
     def seen(self, now: float) -> None:
-        """See badgeryoke.cluster.state_machine.part."""
+        """See badgeryoke.cluster.state_machine_part."""
         for name in self._unseen:
             if name in self.contracts:
                 self.contracts[name].pool.mark_seen(now)
@@ -285,14 +285,14 @@
     # ------------------------------------------------------------------------------------
 
     def dump(self) -> Any:
-        """See badgeryoke.cluster.state_machine.part."""
+        """See badgeryoke.cluster.state_machine_part."""
         return [
             self.last_lease_number,
             [[name, *contract.dump()] for name, contract in self.contracts.items()],
         ]
 
     def load(self, raw: Any) -> None:
-        """See badgeryoke.cluster.state_machine.part."""
+        """See badgeryoke.cluster.state_machine_part."""
         self.last_lease_number, records = raw
         self._drained_retries.clear()
         self._shortfall_retries.clear()
--- a/badgeryoke/cluster/reservations/lease_client.py
+++ b/badgeryoke/cluster/reservations/lease_client.py
@@ -35,7 +35,7 @@
 )
 from badgeryoke.cluster.reservations.lease_renewal import Renewal, apply_renewal, plan_renewal
 from badgeryoke.cluster.reservations.lease_table import LeaseTable
-from badgeryoke.cluster.state_machine.part import ApplyResult, Command
+from badgeryoke.cluster.state_machine_part import ApplyResult, Command
 from badgeryoke.cluster.timings import Timings
 
 POLL_MS = 1000.0  # between two polls for contracts
--- a/badgeryoke/cluster/rolling_restart/commands.py
+++ b/badgeryoke/cluster/rolling_restart/commands.py
@@ -13,7 +13,7 @@
 
 from badgeryoke.cluster.rolling_restart.conditions import ClusterConditions
 from badgeryoke.cluster.rolling_restart.transitions import GatewayReport
-from badgeryoke.cluster.state_machine.part import Command
+from badgeryoke.cluster.state_machine_part import Command
 
 MAX_GATEWAYS = 1024
 MAX_AT_ONCE = 64
--- a/badgeryoke/cluster/rolling_restart/gateway_agent.py
+++ b/badgeryoke/cluster/rolling_restart/gateway_agent.py
@@ -22,7 +22,7 @@
     GatewayPhase,
     GatewayReport,
 )
-from badgeryoke.cluster.state_machine.part import ApplyResult, Command
+from badgeryoke.cluster.state_machine_part import ApplyResult, Command
 
 # By an older assignment no gateway drains or ends: its process was frozen, or cut off from the cluster.
 MAX_ASSIGNMENT_AGE_MS = 1000.0
--- a/badgeryoke/cluster/rolling_restart/observation.py
+++ b/badgeryoke/cluster/rolling_restart/observation.py
@@ -8,7 +8,7 @@
 from badgeryoke.cluster.rolling_restart.conditions import ClusterConditions
 from badgeryoke.cluster.rolling_restart.plan import RollingRestart
 from badgeryoke.cluster.rolling_restart.transitions import UNAVAILABLE_PHASES, GatewayPhase
-from badgeryoke.cluster.state_machine.part import LeaderView
+from badgeryoke.cluster.state_machine_part import LeaderView
 
 
 def observe_conditions(
--- a/badgeryoke/cluster/rolling_restart/scheduler.py
+++ b/badgeryoke/cluster/rolling_restart/scheduler.py
@@ -28,7 +28,7 @@
     RestartEvent,
     RestartState,
 )
-from badgeryoke.cluster.state_machine.part import Command, LeaderView
+from badgeryoke.cluster.state_machine_part import Command, LeaderView
 
 PAUSE_AFTER_BLOCKED_MS = 1500.0  # for which conditions may fail to hold before the restart is paused
 # beyond the others' poll interval: they take over capacity before the wave's gateways reject clients
--- a/badgeryoke/cluster/rolling_restart/waves.py
+++ b/badgeryoke/cluster/rolling_restart/waves.py
@@ -44,7 +44,7 @@
     RestartEvent,
     RestartState,
 )
-from badgeryoke.cluster.state_machine.part import ApplyResult, Command, LeaderView
+from badgeryoke.cluster.state_machine_part import ApplyResult, Command, LeaderView
 
 MAX_RESTARTS = 16  # kept, with those that have ended; the one that ended first is dropped first
 
--- a/badgeryoke/cluster/state_machine/command_registry.py
+++ b/badgeryoke/cluster/state_machine/command_registry.py
@@ -21,7 +21,7 @@
 from badgeryoke.cluster.reservations.guaranteed_rates import GuaranteedRates
 from badgeryoke.cluster.rolling_restart.commands import ROLLING_RESTART_COMMANDS
 from badgeryoke.cluster.rolling_restart.waves import RollingRestarts
-from badgeryoke.cluster.state_machine.part import Command, PartName
+from badgeryoke.cluster.state_machine_part import Command, PartName
 from badgeryoke.cluster.timings import Timings
 
 MAX_NAMED_LENGTH = 64  # of an unknown command's name, in the error that quotes it
--- a/badgeryoke/cluster/state_machine/machine.py
+++ b/badgeryoke/cluster/state_machine/machine.py
@@ -13,8 +13,8 @@
 from badgeryoke.cluster.errors import DuplicateId, InvalidCall
 from badgeryoke.cluster.invariants import Invariants, Rule
 from badgeryoke.cluster.state_machine.command_registry import REGISTRY, decode_command
-from badgeryoke.cluster.state_machine.part import FLEET, ApplyResult, Command, LeaderView
 from badgeryoke.cluster.state_machine.remembered_answers import RememberedAnswers, command_checksum
+from badgeryoke.cluster.state_machine_part import FLEET, ApplyResult, Command, LeaderView
 from badgeryoke.cluster.timings import Timings
 
 
--- a/badgeryoke/cluster/state_machine/remembered_answers.py
+++ b/badgeryoke/cluster/state_machine/remembered_answers.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from badgeryoke.cluster.state_machine.part import ApplyResult, Command
+from badgeryoke.cluster.state_machine_part import ApplyResult, Command
 
 MAX_REMEMBERED_IDS = 8192  # the oldest goes first, and a repeat of it is then new
 MAX_REMEMBERED_ANSWER_BYTES = 8 * 1024 * 1024  # of all answers, a part of what a snapshot may take
--- a/badgeryoke/cluster/unreported_usage.py
+++ b/badgeryoke/cluster/unreported_usage.py
@@ -19,7 +19,7 @@
 
 from badgeryoke.cluster.errors import InvalidCall, NotFound, Overloaded, WrongState
 from badgeryoke.cluster.messages import MemberId
-from badgeryoke.cluster.state_machine.part import ApplyResult, Command, LeaderView
+from badgeryoke.cluster.state_machine_part import ApplyResult, Command, LeaderView
 
 # Of the unreported batches in one group, a part of what a snapshot takes; further ones are rejected, and stay
 # with their gateway.
--- a/badgeryoke/gateway/cluster/admin_calls.py
+++ b/badgeryoke/gateway/cluster/admin_calls.py
@@ -19,7 +19,7 @@
 
 from badgeryoke.cluster.errors import ClusterError, InvalidCall
 from badgeryoke.cluster.state_machine.command_registry import REGISTRY
-from badgeryoke.cluster.state_machine.part import ApplyResult, Command
+from badgeryoke.cluster.state_machine_part import ApplyResult, Command
 
 MAX_ID_CHARS = 128
 # Of what a call has wrong, as an error quotes it.
--- a/badgeryoke/gateway/cluster/connection_leases.py
+++ b/badgeryoke/gateway/cluster/connection_leases.py
@@ -18,7 +18,7 @@
 from badgeryoke.cluster.invariants import Invariants
 from badgeryoke.cluster.node import ClusterNode
 from badgeryoke.cluster.rolling_restart.gateway_agent import RollingRestartAgent
-from badgeryoke.cluster.state_machine.part import ApplyResult, Command
+from badgeryoke.cluster.state_machine_part import ApplyResult, Command
 from badgeryoke.gateway.actor import ActorScheduler
 from badgeryoke.gateway.cluster.closing_sockets import ClosingSockets
 from badgeryoke.gateway.cluster.rolling_restart_duties import DrainableGateway, RollingRestartDuties
--- a/badgeryoke/gateway/cluster/server_limits.py
+++ b/badgeryoke/gateway/cluster/server_limits.py
@@ -7,7 +7,7 @@
 from badgeryoke.cluster.connection_limits.commands import RemoveConnectionLimit, SetConnectionLimit
 from badgeryoke.cluster.connection_limits.lease_holder import ConnectionLeaseHolder
 from badgeryoke.cluster.node import ClusterNode
-from badgeryoke.cluster.state_machine.part import FLEET, Command
+from badgeryoke.cluster.state_machine_part import FLEET, Command
 from badgeryoke.gateway.cluster.settings import Servers
 
 REMOVAL_CHECK_INTERVAL_MS = 5000.0
--- a/badgeryoke/gateway/cluster/service.py
+++ b/badgeryoke/gateway/cluster/service.py
@@ -21,7 +21,7 @@
 from badgeryoke.cluster.invariants import Invariants, Rule
 from badgeryoke.cluster.node import ClusterNode
 from badgeryoke.cluster.reservations.lease_client import ReservationClient
-from badgeryoke.cluster.state_machine.part import ApplyResult, Command
+from badgeryoke.cluster.state_machine_part import ApplyResult, Command
 from badgeryoke.gateway.cluster.admin_calls import StatusRequest, format_answer, parse_call
 from badgeryoke.gateway.cluster.clock import ClusterClock, boot_time_ms
 from badgeryoke.gateway.cluster.node_driver import Node
--- a/badgeryoke/gateway/cluster/settings.py
+++ b/badgeryoke/gateway/cluster/settings.py
@@ -16,7 +16,7 @@
 from badgeryoke.cluster.timings import Timings
 from badgeryoke.cluster.timings import find_problems as timing_faults
 from badgeryoke.gateway.address import parse_address
-from badgeryoke.gateway.config.struct_validation import malformed_values, unknown_keys
+from badgeryoke.gateway.struct_validation import malformed_values, unknown_keys
 
 MAX_MEMBERS = 256
 MAX_GROUPS = 256
--- a/badgeryoke/gateway/config/operators_file.py
+++ b/badgeryoke/gateway/config/operators_file.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from badgeryoke.gateway.config.struct_validation import malformed_values, unknown_keys
+from badgeryoke.gateway.struct_validation import malformed_values, unknown_keys
 
 OPERATORS_FILE = "badgeryoke.toml"
 MAX_FILE_BYTES = 1024 * 1024
--- a/badgeryoke/testbed/cluster_benchmark.py
+++ b/badgeryoke/testbed/cluster_benchmark.py
@@ -35,7 +35,7 @@
 from badgeryoke.cluster.invariants import Invariants
 from badgeryoke.cluster.key_value import PutValue
 from badgeryoke.cluster.raft.node import RaftNode
-from badgeryoke.cluster.state_machine.part import ApplyResult
+from badgeryoke.cluster.state_machine_part import ApplyResult
 from badgeryoke.gateway.actor import ActorScheduler
 from badgeryoke.gateway.cluster.connection_leases import ConnectionLeases
 from badgeryoke.gateway.cluster.service import ClusterService
--- a/badgeryoke/testbed/cluster_simulation/gateway.py
+++ b/badgeryoke/testbed/cluster_simulation/gateway.py
@@ -26,7 +26,7 @@
 from badgeryoke.cluster.rolling_restart.commands import ReadRollingRestarts, StartRollingRestart
 from badgeryoke.cluster.rolling_restart.gateway_agent import DesiredState, RollingRestartAgent
 from badgeryoke.cluster.rolling_restart.minimum_duration import minimum_duration_ms
-from badgeryoke.cluster.state_machine.part import FLEET, ApplyResult
+from badgeryoke.cluster.state_machine_part import FLEET, ApplyResult
 from badgeryoke.testbed.checkers.contract_ledger import LEFT_OUT_MS, Book, least
 from badgeryoke.testbed.cluster_simulation.clock import UNIX_MS
 from badgeryoke.testbed.scenario.model import ContractText, RollText
--- a/badgeryoke/testbed/cluster_simulation/world.py
+++ b/badgeryoke/testbed/cluster_simulation/world.py
@@ -46,7 +46,7 @@
 )
 from badgeryoke.cluster.node import BOOTSTRAP_GROUP, ClusterNode, LeaseClient, Member, NodeSetup
 from badgeryoke.cluster.placement.rendezvous import group_for_key
-from badgeryoke.cluster.state_machine.part import ApplyResult, Command
+from badgeryoke.cluster.state_machine_part import ApplyResult, Command
 from badgeryoke.cluster.timings import Timings
 from badgeryoke.testbed.checkers.history_checker import Finding, Op, Verdict, judge
 from badgeryoke.testbed.cluster_simulation.clock import Clock
--- a/badgeryoke/testbed/dispatcher_cost.py
+++ b/badgeryoke/testbed/dispatcher_cost.py
@@ -24,7 +24,7 @@
 from badgeryoke.cluster.reservations.contract_lease import ContractLease
 from badgeryoke.cluster.reservations.lease_client import ReservationClient
 from badgeryoke.cluster.reservations.terms import Interval
-from badgeryoke.cluster.state_machine.part import ApplyResult
+from badgeryoke.cluster.state_machine_part import ApplyResult
 from badgeryoke.cluster.timings import Timings
 from badgeryoke.decisions import interface as api
 from badgeryoke.gateway.actor import ActorScheduler
--- a/badgeryoke/testbed/emulator/cluster.py
+++ b/badgeryoke/testbed/emulator/cluster.py
@@ -18,7 +18,7 @@
 from badgeryoke.cluster.placement.initial_placement import replica_count
 from badgeryoke.cluster.placement.rendezvous import group_for_key
 from badgeryoke.cluster.rolling_restart.minimum_duration import minimum_duration_ms
-from badgeryoke.cluster.state_machine.part import FLEET
+from badgeryoke.cluster.state_machine_part import FLEET
 from badgeryoke.testbed.checkers.contract_ledger import FEW, least
 from badgeryoke.testbed.checkers.contract_ledger import Book as ContractBook
 from badgeryoke.testbed.emulator.faulty_links import Links
--- a/badgeryoke/testbed/report/plot.py
+++ b/badgeryoke/testbed/report/plot.py
@@ -53,14 +53,16 @@
             f'<rect x="{x(shaded[0]):.1f}" y="{TOP}" width="{x(shaded[1]) - x(shaded[0]):.1f}" '
             f'height="{high}" fill="#f6e7df"/>'
         )
-    for tick in _ticks(most):
-        out.append(
-            f'<line x1="{LEFT}" x2="{LEFT + wide}" y1="{y(tick):.1f}" y2="{y(tick):.1f}" '
-            f'stroke="#ddd"/><text x="{LEFT - 6}" y="{y(tick) + 4:.1f}" text-anchor="end">'
-            f"{tick:g}</text>"
-        )
-    for tick in _ticks(seconds):
-        out.append(f'<text x="{x(tick):.1f}" y="{HEIGHT - 10}" text-anchor="middle">{tick:g} s</text>')
+    out.extend(
+        f'<line x1="{LEFT}" x2="{LEFT + wide}" y1="{y(tick):.1f}" y2="{y(tick):.1f}" '
+        f'stroke="#ddd"/><text x="{LEFT - 6}" y="{y(tick) + 4:.1f}" text-anchor="end">'
+        f"{tick:g}</text>"
+        for tick in _ticks(most)
+    )
+    out.extend(
+        f'<text x="{x(tick):.1f}" y="{HEIGHT - 10}" text-anchor="middle">{tick:g} s</text>'
+        for tick in _ticks(seconds)
+    )
     out.append(f'<text x="{LEFT}" y="{TOP - 3}" class="unit">{html.escape(unit)}</text>')
     for at, word in marks:
         out.append(
--- a/badgeryoke/testbed/report/write.py
+++ b/badgeryoke/testbed/report/write.py
@@ -79,10 +79,10 @@
     one, two = (json.loads((folder / "figures.json").read_text()) for folder in (first, second))
     if to is not None:
         _render([first, second], to, f"{first.name} beside {second.name}")
-    rows = []
-    for key in sorted(set(_flat(one)) | set(_flat(two))):
-        rows.append({"figure": key, "first": _flat(one).get(key), "second": _flat(two).get(key)})
-    return rows
+    return [
+        {"figure": key, "first": _flat(one).get(key), "second": _flat(two).get(key)}
+        for key in sorted(set(_flat(one)) | set(_flat(two)))
+    ]
 
 
 def _flat(figures: dict[str, Any], path: str = "") -> dict[str, Any]:
--- a/badgeryoke/testbed/simulation/world.py
+++ b/badgeryoke/testbed/simulation/world.py
@@ -81,9 +81,7 @@
         elif fault.word in ("kill", "lose"):
             self._kill(fault.groups[0][0] - 1)
         elif fault.word != "start":
-            # what goes wrong between gateways is the simulated fleet's matter
-            # (badgeryoke.testbed.cluster_simulation)
-            pass
+            pass  # faults between gateways are played by badgeryoke.testbed.cluster_simulation
         else:
             self._start(fault.groups[0][0] - 1)
 
--- a/tests/cluster/reservations/test_lease_safety.py
+++ b/tests/cluster/reservations/test_lease_safety.py
@@ -27,7 +27,7 @@
 from badgeryoke.cluster.reservations.guaranteed_rates import GuaranteedRates
 from badgeryoke.cluster.reservations.lease_client import ReservationClient
 from badgeryoke.cluster.reservations.lease_renewal import Renewal
-from badgeryoke.cluster.state_machine.part import ApplyResult, Command
+from badgeryoke.cluster.state_machine_part import ApplyResult, Command
 from badgeryoke.cluster.timings import Timings
 from tests.support.contracts import (
     LEASE_TAIL_MS,
--- a/tests/cluster/test_behaviour_digests.py
+++ b/tests/cluster/test_behaviour_digests.py
@@ -130,7 +130,7 @@
 from badgeryoke.cluster.rolling_restart.waves import RollingRestarts
 from badgeryoke.cluster.state_machine.command_registry import encode_command, parse_command
 from badgeryoke.cluster.state_machine.machine import GroupStateMachine
-from badgeryoke.cluster.state_machine.part import FLEET, Command, LeaderView
+from badgeryoke.cluster.state_machine_part import FLEET, Command, LeaderView
 from badgeryoke.cluster.timings import Timings, find_problems
 from badgeryoke.cluster.unreported_usage import (
     ClaimUsage,
--- a/tests/cluster/test_connection_limits.py
+++ b/tests/cluster/test_connection_limits.py
@@ -26,7 +26,7 @@
 from badgeryoke.cluster.errors import InvalidCall
 from badgeryoke.cluster.invariants import Invariants, Rule
 from badgeryoke.cluster.state_machine.command_registry import parse_command
-from badgeryoke.cluster.state_machine.part import Command
+from badgeryoke.cluster.state_machine_part import Command
 from tests.support.cluster_runs import CLOCK_DRIFT, TIMINGS, first_broken_rule, run_state_machine
 from tests.support.connection_simulation import IDLE_TIMEOUT_MS, LIMITS, ConnectionSimulation
 
--- a/tests/cluster/test_golden_cluster.py
+++ b/tests/cluster/test_golden_cluster.py
@@ -51,7 +51,7 @@
 )
 from badgeryoke.cluster.state_machine.command_registry import REGISTRY, encode_command
 from badgeryoke.cluster.state_machine.machine import GroupStateMachine
-from badgeryoke.cluster.state_machine.part import FLEET, ApplyResult, Command, LeaderView
+from badgeryoke.cluster.state_machine_part import FLEET, ApplyResult, Command, LeaderView
 from badgeryoke.cluster.timings import Timings
 from badgeryoke.gateway.cluster.admin_calls import StatusRequest, format_answer, operator_commands, parse_call
 from badgeryoke.gateway.cluster.service import ClusterService
--- a/tests/cluster/test_membership.py
+++ b/tests/cluster/test_membership.py
@@ -47,7 +47,7 @@
 from badgeryoke.cluster.placement.rendezvous import group_for_key
 from badgeryoke.cluster.placement.repair import MAX_MOVE_DURATION_MS
 from badgeryoke.cluster.raft.log import RaftLog
-from badgeryoke.cluster.state_machine.part import FLEET, LeaderView
+from badgeryoke.cluster.state_machine_part import FLEET, LeaderView
 from tests.support.member_network import TIMES, MemberNetwork
 
 
--- a/tests/cluster/test_regressions.py
+++ b/tests/cluster/test_regressions.py
@@ -152,7 +152,7 @@
 from badgeryoke.cluster.state_machine import remembered_answers
 from badgeryoke.cluster.state_machine.command_registry import decode_command, encode_command
 from badgeryoke.cluster.state_machine.machine import GroupStateMachine
-from badgeryoke.cluster.state_machine.part import FLEET, ApplyResult, Command, LeaderView
+from badgeryoke.cluster.state_machine_part import FLEET, ApplyResult, Command, LeaderView
 from badgeryoke.cluster.timings import Timings
 from badgeryoke.gateway.cluster.admin_calls import parse_call
 from badgeryoke.gateway.cluster.storage import ClusterStorage, open_storage
--- a/tests/gateway/cluster/test_connection_leases.py
+++ b/tests/gateway/cluster/test_connection_leases.py
@@ -19,7 +19,7 @@
 from badgeryoke.cluster.connection_limits.holders import holder_id, server_bucket
 from badgeryoke.cluster.rolling_restart.commands import ReadDesiredState
 from badgeryoke.cluster.state_machine.machine import GroupStateMachine
-from badgeryoke.cluster.state_machine.part import FLEET, ApplyResult
+from badgeryoke.cluster.state_machine_part import FLEET, ApplyResult
 from badgeryoke.decisions.interface import Verdict
 from badgeryoke.gateway.cluster.clock import boot_time_ms
 from badgeryoke.gateway.cluster.server_limits import REMOVAL_CHECK_INTERVAL_MS, REMOVAL_DELAY_MS
--- a/tests/gateway/cluster/test_service.py
+++ b/tests/gateway/cluster/test_service.py
@@ -36,7 +36,7 @@
 from badgeryoke.cluster.invariants import Rule
 from badgeryoke.cluster.key_value import PutValue
 from badgeryoke.cluster.messages import EntryKind, GroupConfiguration, LogEntry, RequestVoteReply
-from badgeryoke.cluster.state_machine.part import ApplyResult
+from badgeryoke.cluster.state_machine_part import ApplyResult
 from badgeryoke.gateway.application import GatewayApplication
 from badgeryoke.gateway.cluster import service as service_module
 from badgeryoke.gateway.cluster import startup as startup_module
--- a/tests/support/cluster_digest.py
+++ b/tests/support/cluster_digest.py
@@ -42,7 +42,7 @@
 from badgeryoke.cluster.node_setup import BOOTSTRAP_GROUP
 from badgeryoke.cluster.state_machine.command_registry import decode_command
 from badgeryoke.cluster.state_machine.machine import GroupStateMachine
-from badgeryoke.cluster.state_machine.part import ApplyResult, Command
+from badgeryoke.cluster.state_machine_part import ApplyResult, Command
 from tests.support.canonical import Digest
 from tests.support.paths import ROOT
 
--- a/tests/support/cluster_history.py
+++ b/tests/support/cluster_history.py
@@ -48,7 +48,7 @@
 )
 from badgeryoke.cluster.state_machine.command_registry import encode_command
 from badgeryoke.cluster.state_machine.machine import GroupStateMachine
-from badgeryoke.cluster.state_machine.part import FLEET, ApplyResult, Command
+from badgeryoke.cluster.state_machine_part import FLEET, ApplyResult, Command
 from badgeryoke.cluster.timings import Timings
 from badgeryoke.gateway.cluster.storage import ClusterStorage, open_storage
 from tests.support.cluster_samples import CLUSTER, CONFIG, FACTS, FOUNDING, OWED, SERVER, START_MS, TERMS
--- a/tests/support/cluster_runs.py
+++ b/tests/support/cluster_runs.py
@@ -9,7 +9,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, run_state_machine_as_test
 
 from badgeryoke.cluster.invariants import InvariantViolation, Rule
-from badgeryoke.cluster.state_machine.part import LeaderView
+from badgeryoke.cluster.state_machine_part import LeaderView
 from badgeryoke.cluster.timings import Timings
 
 STEP_MS = 100.0  # by which simulations advance
--- a/tests/support/cluster_samples.py
+++ b/tests/support/cluster_samples.py
@@ -54,7 +54,7 @@
 )
 from badgeryoke.cluster.rolling_restart.conditions import ClusterConditions
 from badgeryoke.cluster.state_machine.command_registry import decode_command, encode_command
-from badgeryoke.cluster.state_machine.part import ApplyResult, Command
+from badgeryoke.cluster.state_machine_part import ApplyResult, Command
 from badgeryoke.gateway.cluster.transport import decode_envelope, encode_frame
 
 START_MS = 1_700_000_000_000.0  # Unix ms, of all that is said to happen
--- a/tests/support/connection_leases.py
+++ b/tests/support/connection_leases.py
@@ -15,7 +15,7 @@
 from badgeryoke.cluster.errors import NoLeader
 from badgeryoke.cluster.invariants import Invariants
 from badgeryoke.cluster.node import ClusterNode, Member, NodeSetup
-from badgeryoke.cluster.state_machine.part import LeaderView
+from badgeryoke.cluster.state_machine_part import LeaderView
 from badgeryoke.cluster.timings import Timings
 from badgeryoke.gateway.actor import ActorScheduler
 from badgeryoke.gateway.attempt import Attempt, AttemptEnd, Request
--- a/tests/support/connection_simulation.py
+++ b/tests/support/connection_simulation.py
@@ -15,7 +15,7 @@
 from badgeryoke.cluster.connection_limits.limits import ConnectionLimits
 from badgeryoke.cluster.errors import ClusterError, UnknownOutcome
 from badgeryoke.cluster.invariants import Invariants, InvariantViolation, Rule
-from badgeryoke.cluster.state_machine.part import ApplyResult, Command
+from badgeryoke.cluster.state_machine_part import ApplyResult, Command
 from tests.support.cluster_runs import CLOCK_DRIFT, STEP_MS, TIMINGS, leader_view
 
 # longer than a lease lives after its last renewal, or no lost machine would matter
--- a/tests/support/contracts.py
+++ b/tests/support/contracts.py
@@ -11,7 +11,7 @@
 from badgeryoke.cluster.reservations.admission import ContractRegistry
 from badgeryoke.cluster.reservations.commands import ProposeContract, SetCapacity
 from badgeryoke.cluster.reservations.terms import ContractTerms, Window
-from badgeryoke.cluster.state_machine.part import ApplyResult, LeaderView
+from badgeryoke.cluster.state_machine_part import ApplyResult, LeaderView
 from badgeryoke.cluster.timings import Timings
 
 TIMINGS = Timings()
--- a/tests/support/lease_simulation.py
+++ b/tests/support/lease_simulation.py
@@ -16,7 +16,7 @@
 from badgeryoke.cluster.invariants import Invariants, InvariantViolation, Rule
 from badgeryoke.cluster.reservations.guaranteed_rates import GuaranteedRates
 from badgeryoke.cluster.reservations.lease_client import ReservationClient
-from badgeryoke.cluster.state_machine.part import ApplyResult, Command
+from badgeryoke.cluster.state_machine_part import ApplyResult, Command
 from badgeryoke.cluster.timings import Timings
 from tests.support.contracts import (
     TIMINGS,
--- a/tests/support/rolling_restart_simulation.py
+++ b/tests/support/rolling_restart_simulation.py
@@ -25,7 +25,7 @@
 from badgeryoke.cluster.rolling_restart.plan import RollingRestart
 from badgeryoke.cluster.rolling_restart.transitions import GatewayPhase
 from badgeryoke.cluster.rolling_restart.waves import RollingRestarts
-from badgeryoke.cluster.state_machine.part import ApplyResult, Command, LeaderView
+from badgeryoke.cluster.state_machine_part import ApplyResult, Command, LeaderView
 from tests.support.cluster_runs import STEP_MS, leader_view
 
 NAMES = [f"g{n}" for n in range(5)]
