--- a/tests/project/test_project.py
+++ b/tests/project/test_project.py
@@ -104,3 +104,10 @@
     space: dict[str, object] = {}
     exec(compile(example, "README.md", "exec"), space)
     assert space["sent"]
+
+
+def test_every_logger_on_the_on_call_page_is_a_module() -> None:
+    text = (ROOT / "docs/ON-CALL.md").read_text(encoding="utf-8")
+    names = set(re.findall(r"`(badgeryoke(?:\.\w+)+): ", text)) - {"badgeryoke.toml"}
+    assert len(names) >= 10
+    assert [name for name in sorted(names) if not source_of(name).is_file()] == []
