--- a/badgeryoke/decisions/counter_health/__init__.py
+++ b/badgeryoke/decisions/counter_health/__init__.py
@@ -1,7 +1,8 @@
-"""Watching over the shared counter, through the counter's own call and nothing else.
+"""Health checks of the shared counter, through the counter's own call and nothing else.
 
-`roll` is the arithmetic of one number in which up to six gateways each keep a digit, `state` tells from
-its readings what the counter is, `sight` what is granted meanwhile, `guarded` ties them to the decision
-module, and `bound` states beforehand what may go wrong.  None of them knows a socket, a clock or a random
-source.
+`presence_register` is the arithmetic of one counter value in which up to six gateways each keep a digit,
+`peer_heartbeats` finds out which gateways have stopped to send heartbeats, `detector` tells from all replies
+what the state of the counter is, `visibility` what may be granted meanwhile, `monitored_policy` connects them
+to the decision engine, and `error_bound` states beforehand how much may be granted in excess.  None of them
+does I/O or uses a clock or a random source.
 """
--- a/badgeryoke/decisions/counter_health/ceiling_guard.py
+++ b/badgeryoke/decisions/counter_health/ceiling_guard.py
@@ -1,13 +1,14 @@
-"""Holding a hard ceiling while a loss of the counter is not yet noticed.
+"""Holds a hard ceiling while a loss of the counter has not been detected yet.
 
-Until a gateway notices that others are out of its sight, every side of a split takes the customer's quota
-for its own.  What saves the ceiling is the room that it has above the quota, and a store that each gateway
-keeps of its own sends from the last moment at which all were surely in sight.  With a quota's store of B
-that held r units at that moment, and a ceiling's of K that fills at C, the ceiling's held K - B + r at
-least, while sends conform to the quota.  An even part of that, which fills at C / g and holds no more than
-K / g, is what each of a set of g gateways may send on; together they stay within the ceiling's, whatever
-each believes.  In sound times beats renew the moment, and with it the split of what there is, nearly twice
-a second, and the bound is above what even the busiest gateway sends: it binds where a burst meets a loss.
+Until a gateway detects that others are hidden, every side of a partition takes the customer's whole quota for
+its own.  What keeps the ceiling is the capacity that it has above the quota, and a history of this gateway's
+sends since the last time at which all gateways were surely visible.  Where a quota's token bucket of B units
+held r units at that time, and the ceiling's has K units and fills at C, the ceiling's held at least K - B + r,
+as long as sends conform to the quota.  An even share of that, which fills at C / g and holds no more than
+K / g, is what each gateway of a set of g may send; together they stay within the ceiling, whatever each
+takes to be visible.  In normal operation heartbeats move that time forward, and with it the share of what is
+left, nearly twice a second, and the bound is above what even the busiest gateway sends: it matters only where
+a burst coincides with a loss.
 """
 
 from __future__ import annotations
@@ -20,81 +21,84 @@
 if TYPE_CHECKING:
     from badgeryoke.decisions.policy.quota import CustomerQuota
 
-KEPT_MS = 6000.0  # own sends are remembered for this long: longer than the slowest noticing
-STEP_MS = 25.0  # sends within one are kept as one, at the time of its last: KEPT_MS / STEP_MS + 1 at most
-USED = 0.95  # of the bound: the others' last sends may not have come to the counter yet
+SEND_HISTORY_MS = 6000.0  # longer than the slowest detection of a loss
+HISTORY_STEP_MS = 25.0  # sends within one step are one entry, at the time of the last of them
+SWEEP_INTERVAL_MS = 1000.0  # between two removals of old entries
+MIN_UNITS_IN_FLIGHT = 1e-9  # less is a rounding error
+CEILING_USED_FRACTION = 0.95  # of the bound: the others' last sends may not be in the counter yet
 
 
 class CeilingGuard:
-    """Own sends of customers with a ceiling, counted from the last common moment.
+    """This gateway's sends for customers with a ceiling, since all gateways were surely visible.
 
-    `common_since(now, first, spread)` tells that moment, in ms.
+    `all_visible_until(now, first_gateway, gateway_set_size)` returns that time, in ms.
     """
 
-    def __init__(self, common_since: Callable[[float, int, int], float]) -> None:
-        self._common_since = common_since
+    def __init__(self, all_visible_until: Callable[[float, int, int], float]) -> None:
+        self._all_visible_until = all_visible_until
         self._sent: dict[int, deque[tuple[float, float]]] = {}
-        self._held: dict[str, tuple[int, float]] = {}  # tries in the module's hands, not yet sent
-        self._held_of: dict[int, float] = {}
-        self._swept = -math.inf
+        self._in_flight: dict[str, tuple[int, float]] = {}  # by request: customer and units, not sent yet
+        self._units_in_flight: dict[int, float] = {}
+        self._swept_at = -math.inf
 
-    def since(self, customer: int, moment: float) -> float:
-        """Own units sent since a moment, with those in hand."""
+    def units_since(self, customer: int, since: float) -> float:
+        """Units sent since a time, and those in flight."""
         sent = self._sent.get(customer, ())
-        return self._held_of.get(customer, 0.0) + sum(units for at, units in sent if at >= moment)
+        return self._units_in_flight.get(customer, 0.0) + sum(units for at, units in sent if at >= since)
 
-    def wait(self, now: float, led: CustomerQuota, units: float) -> float:
-        """How long a try must wait for the bound, ms; 0 where it may go to the module."""
-        plan, spread = led.plan, led.gateway_set_size
-        if led.bucket.partial_share is not None:  # the part of the quota is the narrower bound
+    def wait(self, now: float, quota: CustomerQuota, units: float) -> float:
+        """How long a request must wait for the bound, ms; 0 where the decision engine may have it."""
+        plan, gateway_set_size = quota.plan, quota.gateway_set_size
+        if quota.bucket.partial_share is not None:  # the share of the quota is the stricter bound
             return 0.0
-        moment = max(self._common_since(now, led.first_gateway, spread), now - KEPT_MS)
-        sent = self._sent.get(led.customer, deque())
-        held = self._held_of.get(led.customer, 0.0)
-        spent = held + sum(part for at, part in sent if at >= moment)
-        left = led.bucket.capacity(now) - plan.rate * (now - moment) / 1000.0 + spent
-        # The own part of the ceiling's store, from the common moment on: it fills, but never beyond its
-        # depth.
-        part_of = USED / spread
-        most, rate = plan.ceiling_burst * part_of, plan.ceiling_rate * part_of / 1000.0
-        level = most - (plan.burst - min(max(left, 0.0), plan.burst)) * part_of
-        last = moment
+        visible_until = max(
+            self._all_visible_until(now, quota.first_gateway, gateway_set_size), now - SEND_HISTORY_MS
+        )
+        sent = self._sent.get(quota.customer, deque())
+        in_flight = self._units_in_flight.get(quota.customer, 0.0)
+        spent = in_flight + sum(part for at, part in sent if at >= visible_until)
+        quota_level = quota.bucket.capacity(now) - plan.rate * (now - visible_until) / 1000.0 + spent
+        # The own share of the ceiling's token bucket since then: it fills, but never beyond its burst.
+        share = CEILING_USED_FRACTION / gateway_set_size
+        max_level, rate = plan.ceiling_burst * share, plan.ceiling_rate * share / 1000.0
+        level = max_level - (plan.burst - min(max(quota_level, 0.0), plan.burst)) * share
+        updated_at = visible_until
         for at, part in sent:
-            if at >= moment:
-                level, last = min(level + (at - last) * rate, most) - part, at
-        level = min(level + (now - last) * rate, most) - held
-        # No sooner than the arrival time lets it through: else it would come back to be refused again.
-        short = max(min(units, most) - level, 0.0) / rate
-        return max(short, led.bucket.wait(now, units)) if short else 0.0
+            if at >= visible_until:
+                level, updated_at = min(level + (at - updated_at) * rate, max_level) - part, at
+        level = min(level + (now - updated_at) * rate, max_level) - in_flight
+        # No sooner than the quota admits it, or it would be rejected again at the time that it was given.
+        refill_ms = max(min(units, max_level) - level, 0.0) / rate
+        return max(refill_ms, quota.bucket.wait(now, units)) if refill_ms else 0.0
 
-    def hold(self, rid: str, customer: int, units: float) -> None:
-        """A try goes to the module."""
-        self._held[rid] = customer, units
-        self._held_of[customer] = self._held_of.get(customer, 0.0) + units
+    def reserve(self, request_id: str, customer: int, units: float) -> None:
+        """Count a request that goes to the decision engine as in flight."""
+        self._in_flight[request_id] = customer, units
+        self._units_in_flight[customer] = self._units_in_flight.get(customer, 0.0) + units
 
-    def release(self, now: float, rid: str, sent: bool) -> None:
-        """It was sent for the first time, or has its answer unsent."""
-        found = self._held.pop(rid, None)
-        if found is None:
+    def release(self, now: float, request_id: str, sent: bool) -> None:
+        """End the reservation of a request that was sent for the first time, or ended without being sent."""
+        reservation = self._in_flight.pop(request_id, None)
+        if reservation is None:
             return
-        customer, units = found
-        left = self._held_of[customer] - units
-        if left > 1e-9:
-            self._held_of[customer] = left
+        customer, units = reservation
+        remaining = self._units_in_flight[customer] - units
+        if remaining > MIN_UNITS_IN_FLIGHT:
+            self._units_in_flight[customer] = remaining
         else:
-            del self._held_of[customer]
+            del self._units_in_flight[customer]
         if sent:
-            kept = self._sent.setdefault(customer, deque())
-            if kept and kept[-1][0] // STEP_MS == now // STEP_MS:
-                units += kept.pop()[1]  # as if sent later: the bound is no wider for it
-            kept.append((now, units))
-            while kept[0][0] < now - KEPT_MS:
-                kept.popleft()
-        if now - self._swept >= 1000.0:
-            self._swept = now
-            self._forget(now - KEPT_MS)
+            history = self._sent.setdefault(customer, deque())
+            if history and history[-1][0] // HISTORY_STEP_MS == now // HISTORY_STEP_MS:
+                units += history.pop()[1]  # counted as sent later, which makes the bound stricter
+            history.append((now, units))
+            while history[0][0] < now - SEND_HISTORY_MS:
+                history.popleft()
+        if now - self._swept_at >= SWEEP_INTERVAL_MS:
+            self._swept_at = now
+            self._expire_history(now - SEND_HISTORY_MS)
 
-    def _forget(self, before: float) -> None:
+    def _expire_history(self, before: float) -> None:
         for customer in list(self._sent):
             sent = self._sent[customer]
             while sent and sent[0][0] < before:
--- a/badgeryoke/decisions/counter_health/monitored_policy.py
+++ b/badgeryoke/decisions/counter_health/monitored_policy.py
@@ -1,19 +1,16 @@
-"""The decision module under a watch over the counter: the same events in, the same actions out.
+"""The decision engine together with health checks of the counter: the same events in, the same actions out.
 
-A host that wants quotas to hold while the counter is lost puts this in the place of `decide.Gateway`;
-nothing else changes for it.  The watch's own calls and timers pass among the module's, told apart by name
-and token.
+A host that wants quotas to hold while the counter is lost uses this in place of `policy.engine.DecisionEngine`;
+nothing else changes for it.  The detector's own calls and timers are among the engine's, and are recognized
+by counter name and timer token.
 """
 
 from __future__ import annotations
 
 from badgeryoke.decisions.counter_health.ceiling_guard import CeilingGuard
-from badgeryoke.decisions.counter_health.detector import (
-    CounterHealthDetector,
-    CounterState,
-    CounterStateChange,
-    RegisterCall,
-)
+from badgeryoke.decisions.counter_health.counter_state import CounterState, CounterStateChange
+from badgeryoke.decisions.counter_health.detector import CounterHealthDetector
+from badgeryoke.decisions.counter_health.register_calls import RegisterCall
 from badgeryoke.decisions.interface import (
     Action,
     AddToCounter,
@@ -33,106 +30,112 @@
 )
 from badgeryoke.decisions.policy.engine import DecisionEngine
 
-OWN_TOKENS = 1 << 62  # wakes of the watch; the module counts from 1
+FIRST_DETECTOR_TOKEN = 1 << 62  # of the detector's timers; the decision engine counts from 1
 
 
 class MonitoredEngine:
-    """A gateway's decisions, and its watch."""
+    """A gateway's decision engine and its health checks of the counter."""
 
-    def __init__(self, settings: Settings, seed: int, make: type[DecisionEngine] = DecisionEngine) -> None:
+    def __init__(
+        self, settings: Settings, seed: int, engine_type: type[DecisionEngine] = DecisionEngine
+    ) -> None:
         if not settings.has_counter:
             raise ValueError("setting family_info.has_counter: a watch needs a counter")
-        self.module = make(settings, seed)
-        self.watch = CounterHealthDetector(
+        self.engine = engine_type(settings, seed)
+        self.detector = CounterHealthDetector(
             settings.gateway_index, settings.gateway_count, settings.counter_timeout_ms
         )
-        self.quota = self.module._quota
-        self.quota.visibility = self.watch.sight
+        self.quota = self.engine._quota
+        self.quota.visibility = self.detector.visibility
         self._plans: dict[str, Plan] = {plan.name: plan for plan in settings.plans}
-        self._guard = CeilingGuard(self.watch.common_since)
-        self.watch.sight.spent = self._spent
-        self._calls: dict[int, RegisterCall] = {}
-        self._begun = False
+        self._guard = CeilingGuard(self.detector.all_visible_until)
+        self.detector.visibility.units_since_visible = self._units_since_visible
+        self._register_calls: dict[int, RegisterCall] = {}
+        self._started = False
         self._now = 0.0
         self.calls_made = 0
 
     @property
-    def belief(self) -> CounterState:
-        """What the counter is held to be."""
-        return self.watch.belief
+    def counter_state(self) -> CounterState:
+        """What the counter is presumed to be."""
+        return self.detector.state
 
     def take_changes(self) -> list[CounterStateChange]:
-        """The changes of the belief since the last call."""
-        return self.watch.take_changes()
+        """The changes of the state since the last call."""
+        return self.detector.take_changes()
 
-    def _spent(self, customer: int) -> float:
-        sight = self.watch.sight
-        return self._guard.since(customer, sight.changed - sight.unseen_ms)
+    def _units_since_visible(self, customer: int) -> float:
+        visibility = self.detector.visibility
+        return self._guard.units_since(customer, visibility.changed_at - visibility.unseen_ms)
 
     def update_settings(self, settings: Settings) -> None:
-        """Go by new settings."""
-        self.module.update_settings(settings)
+        """Take up new settings."""
+        self.engine.update_settings(settings)
         self._plans = {plan.name: plan for plan in settings.plans}
 
     def avoided(self, now: float) -> int:
-        """How many of the listed servers get nothing now."""
-        return self.module.avoided(now)
+        """How many of the listed servers get no traffic now."""
+        return self.engine.avoided(now)
 
     def handle(self, now: float, event: Event) -> list[Action]:
         """Decide on one event."""
         self._now = now
-        before: list[Action] = []
-        if not self._begun:
-            self._begun = True
-            before = self._beat(now)
+        detector_actions: list[Action] = []
+        if not self._started:
+            self._started = True
+            detector_actions = self._send_heartbeat(now)
         match event:
-            case TimerFired(token=token) if token >= OWN_TOKENS:
-                return before + self._beat(now)
-            case CounterReply(name=name) if name in self._calls:
-                self._answered(now, event)
-                return before
+            case TimerFired(token=token) if token >= FIRST_DETECTOR_TOKEN:
+                return detector_actions + self._send_heartbeat(now)
+            case CounterReply(name=name) if name in self._register_calls:
+                self._register_replied(now, event)
+                return detector_actions
             case CounterReply():
-                led = self.quota._calls.get(event.name)
-                if led is not None and not self.watch.sight.deaf and event.verdict is not Verdict.QUEUE_FULL:
-                    self.watch.sight.told(now, led, event.verdict is Verdict.OK)
-                self.watch.witness(
+                quota = self.quota._calls.get(event.name)
+                if (
+                    quota is not None
+                    and not self.detector.visibility.counter_unreachable
+                    and event.verdict is not Verdict.QUEUE_FULL
+                ):
+                    self.detector.visibility.record_reply(now, quota, event.verdict is Verdict.OK)
+                self.detector.call_ended(
                     now, event.verdict is Verdict.OK, event.rtt_ms, event.verdict is Verdict.CONNECT_FAILED
                 )
             case Request():
-                self.watch.tried()
+                self.detector.request_arrived()
                 plan = self._plans.get(event.plan)
                 if plan is not None and plan.ceiling_rate > 0 and plan.rate > 0:
                     wait = self._guard.wait(now, self.quota.quota_for(now, event), event.units)
                     if wait > 0:
-                        return [*before, Reject(event.id, max(wait, 1.0))]
-                    self._guard.hold(event.id, event.customer, event.units)
+                        return [*detector_actions, Reject(event.id, max(wait, 1.0))]
+                    self._guard.reserve(event.id, event.customer, event.units)
             case _:
                 pass
-        actions = self.module.handle(now, event)
+        actions = self.engine.handle(now, event)
         for action in actions:
             match action:
-                case SendAttempt(id=rid):
-                    self._guard.release(now, rid, True)
-                case Reject(id=rid) | Fail(id=rid):
-                    self._guard.release(now, rid, False)
+                case SendAttempt(id=request_id):
+                    self._guard.release(now, request_id, True)
+                case Reject(id=request_id) | Fail(id=request_id):
+                    self._guard.release(now, request_id, False)
                 case _:
                     pass
         if isinstance(event, ClientDisconnected) or (isinstance(event, AttemptOutcome) and event.ended):
             self._guard.release(now, event.id, False)
-        return before + actions
+        return detector_actions + actions
 
-    def _beat(self, now: float) -> list[Action]:
+    def _send_heartbeat(self, now: float) -> list[Action]:
         actions: list[Action] = []
-        for call in self.watch.beat(now):
-            self._calls[call.name] = call
+        for call in self.detector.heartbeat(now):
+            self._register_calls[call.name] = call
             self.calls_made += 1
-            actions.append(AddToCounter(call.name, call.units, call.life_ms))
-        actions.append(SetTimer(self.watch.next_beat(now), OWN_TOKENS))
+            actions.append(AddToCounter(call.name, call.units, call.lifetime_ms))
+        actions.append(SetTimer(self.detector.next_heartbeat_at(now), FIRST_DETECTOR_TOKEN))
         return actions
 
-    def _answered(self, now: float, event: CounterReply) -> None:
-        call = self._calls.pop(event.name)
-        self.watch.answer(
+    def _register_replied(self, now: float, event: CounterReply) -> None:
+        call = self._register_calls.pop(event.name)
+        self.detector.register_replied(
             now,
             call,
             event.verdict is Verdict.OK,
--- /dev/null
+++ b/badgeryoke/decisions/counter_health/peer_heartbeats.py
@@ -0,0 +1,135 @@
+"""The failure detector: how many heartbeats of each neighbour gateway have been missed.
+
+A gateway learns of another only whether its digit in the presence register still grows.
+"""
+
+from __future__ import annotations
+
+import math
+
+from badgeryoke.decisions.counter_health.presence_register import (
+    GATEWAYS_PER_REGISTER,
+    HEARTBEAT_INTERVAL_MS,
+    REGISTER_PERIOD_MS,
+    neighbour_gateways,
+)
+
+MAX_NEIGHBOUR_DISTANCE = 3  # a customer's gateway set spans no more than four gateways
+SUSPECT_HEARTBEATS = 0.9  # a gateway is suspected after so many missed heartbeats, ...
+HIDDEN_HEARTBEATS = 1.9  # ... and reported as hidden after so many
+SLOW_COUNTER_HEARTBEATS = 8.0  # both, while the counter is slow: calls are late, and all make fewer
+
+
+class PeerHeartbeats:
+    """The last heartbeats that this gateway has read of others."""
+
+    def __init__(self, gateway_index: int, gateway_count: int) -> None:
+        self.gateway_index, self.gateway_count = gateway_index, gateway_count
+        self.neighbours = neighbour_gateways(
+            gateway_index, gateway_count, min(MAX_NEIGHBOUR_DISTANCE, gateway_count - 1)
+        )
+        self.group = gateway_index // GATEWAYS_PER_REGISTER
+        other_groups = sorted({number // GATEWAYS_PER_REGISTER for number in self.neighbours} - {self.group})
+        # The own group's register is read every other time, where there are others.
+        self.group_rotation: tuple[int, ...] = tuple(
+            group for other in other_groups for group in (self.group, other)
+        ) or (self.group,)
+        self.heartbeats_per_reading = {
+            gateway: self._reading_interval(gateway) for gateway in self.neighbours
+        }
+        self.started_at = math.nan
+        self.known_gateways: dict[int, bool] = {}  # that have been alive at some time
+        self._digits: dict[int, int] = {}  # as last read, by gateway
+        self._digit_periods: dict[int, int] = {}  # the periods in which they were read
+        self._read_at: dict[int, float] = {}  # when a group's register was last read
+        self._last_heartbeat_at: dict[int, float] = {}  # when a digit was last seen to grow
+
+    def _reading_interval(self, gateway: int) -> float:
+        """Heartbeats between two of a gateway's, or between two readings of them, whichever is longer."""
+        rotation = len(self.group_rotation)
+        readings = rotation if gateway // GATEWAYS_PER_REGISTER != self.group else min(rotation, 2)
+        return max(1.0 if self.gateway_count <= GATEWAYS_PER_REGISTER else 2.0, float(readings))
+
+    def record_reading(self, now: float, group: int) -> None:
+        """Note that a group's register of the present period was read."""
+        self._read_at[group] = now
+
+    def record_members(self, group: int, digits: tuple[int, ...]) -> None:
+        """Take in a membership register: who has been alive."""
+        for index, digit in enumerate(digits[:GATEWAYS_PER_REGISTER]):
+            if digit:
+                self.known_gateways[group * GATEWAYS_PER_REGISTER + index] = True
+
+    def record_digits(self, now: float, group: int, period: int, digits: tuple[int, ...]) -> None:
+        """Take in the digits of a heartbeat register."""
+        for index, digit in enumerate(digits[:GATEWAYS_PER_REGISTER]):
+            gateway = group * GATEWAYS_PER_REGISTER + index
+            if gateway == self.gateway_index or gateway >= self.gateway_count or not digit:
+                continue
+            self.known_gateways[gateway] = True
+            last_period = self._digit_periods.get(gateway, -1)
+            if gateway not in self._last_heartbeat_at:  # the digit may not have grown for long
+                self._last_heartbeat_at[gateway] = self.started_at
+            elif period > last_period or (period == last_period and digit != self._digits[gateway]):
+                self._last_heartbeat_at[gateway] = now
+            if period >= last_period:
+                self._digits[gateway], self._digit_periods[gateway] = digit, period
+
+    def missed_heartbeats(self, now: float, gateway: int) -> float:
+        """How many heartbeats of a known gateway were missed; 0 where it was never alive."""
+        if not self.known_gateways.get(gateway):
+            return 0.0
+        now = self._read_at.get(gateway // GATEWAYS_PER_REGISTER, now)
+        last_heartbeat_at = self._last_heartbeat_at.get(gateway)
+        if last_heartbeat_at is None:
+            return math.inf
+        interval_ms = HEARTBEAT_INTERVAL_MS * self.heartbeats_per_reading[gateway]
+        period_start = math.floor(now / REGISTER_PERIOD_MS) * REGISTER_PERIOD_MS
+        if period_start - 1.5 * interval_ms <= last_heartbeat_at < period_start and (
+            now - period_start < interval_ms
+        ):
+            return 0.0  # a new period's register starts at 0, and the other has one interval to reach it
+        return (now - last_heartbeat_at) / interval_ms
+
+    def find_hidden(
+        self, now: float, is_slow: bool, unreachable_at: float
+    ) -> tuple[frozenset[int], tuple[int, ...]]:
+        """The neighbours that are suspected, and those that are reported as hidden.
+
+        `unreachable_at`: when the counter was last unreachable; each neighbour then has time to send again.
+        """
+        suspect_after = SLOW_COUNTER_HEARTBEATS if is_slow else SUSPECT_HEARTBEATS
+        hidden_after = SLOW_COUNTER_HEARTBEATS if is_slow else HIDDEN_HEARTBEATS
+        missed = {gateway: self.missed_heartbeats(now, gateway) for gateway in self.neighbours}
+        since_reachable = (now - unreachable_at) / HEARTBEAT_INTERVAL_MS
+        suspected = frozenset(gateway for gateway in self.neighbours if missed[gateway] >= suspect_after)
+        hidden = tuple(
+            gateway
+            for gateway in self.neighbours
+            if missed[gateway] >= hidden_after
+            and since_reachable >= (hidden_after + 1.0) * self.heartbeats_per_reading[gateway]
+        )
+        return suspected, hidden
+
+    def known_neighbour_count(self) -> int:
+        """How many neighbours have been alive at some time."""
+        return sum(bool(self.known_gateways.get(gateway)) for gateway in self.neighbours)
+
+    def last_heartbeat_at(self, gateway: int, default: float) -> float:
+        """When a gateway's digit was last seen to grow."""
+        return self._last_heartbeat_at.get(gateway, default)
+
+    def expire_all(self) -> None:
+        """Take no earlier heartbeat as proof of visibility any more."""
+        self._last_heartbeat_at.update(dict.fromkeys(self._last_heartbeat_at, -math.inf))
+
+    def all_visible_until(self, now: float, first_gateway: int, gateway_set_size: int) -> float:
+        """Until when all others of a gateway set surely used this gateway's counter: their last heartbeat
+        that was seen, less the time since the reading before.  Now, where none was ever alive."""
+        since = now
+        for gateway in self.neighbours:  # six at most, however large the set is
+            in_set = (gateway - first_gateway) % self.gateway_count < gateway_set_size
+            if in_set and self.known_gateways.get(gateway):
+                last = self._last_heartbeat_at.get(gateway, self.started_at)
+                since = min(since, last - self.heartbeats_per_reading[gateway] * HEARTBEAT_INTERVAL_MS)
+        return since
--- a/badgeryoke/decisions/plan_schedule/__init__.py
+++ b/badgeryoke/decisions/plan_schedule/__init__.py
@@ -1,5 +1,5 @@
-"""Plans that change in service: versions with the time from which each holds, and how a store is carried
-over.
+"""Plans that change in service: versions with the time from which each is in force, and how a token bucket is
+carried over from one to the next.
 
-No I/O: times come in as figures, and what is wrong with a change comes back as a value that names its key.
+No I/O: times are passed in, and what is wrong with a change is returned as a value that names its key.
 """
--- a/badgeryoke/decisions/policy/quota.py
+++ b/badgeryoke/decisions/policy/quota.py
@@ -172,12 +172,12 @@
             self._quotas[request.customer] = quota
         quota.last_used_at = now
         plan = self._plans.get(quota.plan.name, quota.plan)
-        if plan is not quota.plan and not quota.calls_in_flight:
-            from badgeryoke.decisions.plan_schedule.plan_change import replan  # only where plans change
+        if plan is not quota.plan and not quota.calls_in_flight:  # imported only where plans change
+            from badgeryoke.decisions.plan_schedule.plan_change import apply_plan_change
 
             quota.first_gateway = request.first_gateway
             quota.gateway_set_size = max(1, min(request.gateway_set_size, self._settings.gateway_count))
-            replan(now, quota, plan, self._settings)
+            apply_plan_change(now, quota, plan, self._settings)
         if self.visibility and quota.visibility_version != self.visibility.version:
             self.visibility.apply(now, quota)
         return quota
@@ -186,7 +186,7 @@
         """How long until an unconfirmed request conforms.  While the counter answers, the own share is at
         random 1/sqrt(gateways): customers within their quota rarely use more at one gateway."""
         bucket = quota.bucket
-        if bucket.partial_share and self.visibility and self.visibility.alone(quota):
+        if bucket.partial_share and self.visibility and self.visibility.is_isolated(quota):
             return bucket.wait(now, units)  # the share of an isolated gateway
         wait = bucket.wait(now, units) if quota.synchronized or quota.visibility_version else 0.0
         share = quota.own_share()
@@ -208,7 +208,7 @@
         odds = self._call_probability
         if self._mean_call_value:
             odds = max(odds * value / self._mean_call_value, MIN_CALL_PROBABILITY)
-        suppressed = self.visibility is not None and self.visibility.hushed(now, quota)
+        suppressed = self.visibility is not None and self.visibility.suppresses_calls(now, quota)
         if not self._settings.has_counter or self._rng.random() >= odds or suppressed:
             return 0.0
         return min(1 / min(odds, 1.0), MAX_SAMPLE_WEIGHT) if sent_anyway else 1.0
@@ -304,7 +304,7 @@
         """Charge what others used since the last total, and update the usage rates."""
         bucket, elapsed_ms = quota.bucket, now - quota.synchronized_at
         others = max(total - quota.last_total - units - quota.uncertain_units, 0.0) + quota.estimated_units
-        others = self.visibility.heard(quota, others) if self.visibility else others
+        others = self.visibility.others_units(quota, others) if self.visibility else others
         quota.reported_units += units
         quota.uncertain_units, quota.was_unsynchronized = 0.0, not quota.synchronized
         if quota.synchronized or quota.visibility_version or quota.plan.rate <= 0:
--- a/badgeryoke/decisions/quota_protocols.py
+++ b/badgeryoke/decisions/quota_protocols.py
@@ -68,11 +68,11 @@
     def apply(self, now: float, quota: CustomerQuota[Any]) -> None:
         """Bring a customer's buckets in line with what is visible now."""
 
-    def alone(self, quota: CustomerQuota[Any]) -> bool:
+    def is_isolated(self, quota: CustomerQuota[Any]) -> bool:
         """Whether this gateway sees none of the customer's others."""
 
-    def hushed(self, now: float, quota: CustomerQuota[Any]) -> bool:
+    def suppresses_calls(self, now: float, quota: CustomerQuota[Any]) -> bool:
         """Whether calls for the customer are suppressed."""
 
-    def heard(self, quota: CustomerQuota[Any], others: float) -> float:
+    def others_units(self, quota: CustomerQuota[Any], others: float) -> float:
         """The units that count as others' use, of those that a total shows."""
--- a/badgeryoke/gateway/dispatcher.py
+++ b/badgeryoke/gateway/dispatcher.py
@@ -413,7 +413,7 @@
             return
         for action in actions:
             self._act(now, action)
-        if self._watched is not None and self._watched.watch.changes:
+        if self._watched is not None and self._watched.detector.changes:
             self._tell_beliefs(self._watched)
 
     def _tell_beliefs(self, watched: MonitoredEngine) -> None:
@@ -423,7 +423,7 @@
             fields = {
                 "old": change.old.value,
                 "new": change.new.value,
-                "sign": change.sign.value,
+                "sign": change.symptom.value,
                 "hidden": list(change.hidden),
                 "since_ms": round(change.at_ms, 1),
             }
@@ -431,7 +431,7 @@
                 logging.INFO if sound else logging.WARNING,
                 "counter believed %s: %s%s",
                 change.new.value,
-                change.sign.value,
+                change.symptom.value,
                 f", gateways {list(change.hidden)}" if change.hidden else "",
                 extra={"fields": fields},
             )
--- a/badgeryoke/testbed/report/result.py
+++ b/badgeryoke/testbed/report/result.py
@@ -6,8 +6,8 @@
 from typing import Any
 
 from badgeryoke.decisions import interface as api
-from badgeryoke.decisions.counter_health.detector import CounterState
-from badgeryoke.decisions.counter_health.error_bound import CEILING_ERROR, stated
+from badgeryoke.decisions.counter_health.counter_state import CounterState
+from badgeryoke.decisions.counter_health.error_bound import CEILING_ERROR_FRACTION, max_excess_share
 from badgeryoke.testbed.checkers.quota_checker import Referee, Verdict
 from badgeryoke.testbed.scenario.model import Scenario
 
@@ -15,7 +15,7 @@
 ALARMS = {
     belief.value
     for belief in CounterState
-    if belief not in (CounterState.UNKNOWN, CounterState.SOUND, CounterState.SLOW, CounterState.HEALED)
+    if belief not in (CounterState.UNKNOWN, CounterState.HEALTHY, CounterState.SLOW, CounterState.HEALED)
 }
 REAL = ("kill", "lose", "freeze", "split", "swap", "spoil", "restore")  # faults that are a loss
 AFTER_MS = 5000.0  # a belief so long after the last fault is a false one
@@ -134,7 +134,7 @@
         for step, row in sorted(referee.line.items())
         for gateway, sums in sorted(row.items())
     ]
-    error = stated(scenario_plans(scenario), scenario.gateways, (end - start) / 1000.0)
+    error = max_excess_share(scenario_plans(scenario), scenario.gateways, (end - start) / 1000.0)
     return Result(
         scenario.name,
         seed,
@@ -152,7 +152,7 @@
 def within_stated(result: Result) -> bool:
     """Whether the error that was stated beforehand was kept."""
     verdict = result.verdict
-    return verdict.ceiling_excess <= CEILING_ERROR and verdict.beyond_share <= result.stated_error
+    return verdict.ceiling_excess <= CEILING_ERROR_FRACTION and verdict.beyond_share <= result.stated_error
 
 
 def scenario_plans(scenario: Scenario) -> list[tuple[api.Plan, int]]:
--- a/badgeryoke/testbed/simulation/world.py
+++ b/badgeryoke/testbed/simulation/world.py
@@ -130,7 +130,7 @@
         if isinstance(made, MonitoredEngine):
             for change in made.take_changes():
                 self.beliefs.append(
-                    Shown(round(self.now, 3), gateway, change.new.value, change.sign.value, change.hidden)
+                    Shown(round(self.now, 3), gateway, change.new.value, change.symptom.value, change.hidden)
                 )
 
     def _answer(self, rid: str, kind: str, wait_ms: float = 0.0) -> None:
--- a/tests/decisions/counter_health/test_state_machine.py
+++ b/tests/decisions/counter_health/test_state_machine.py
@@ -13,8 +13,12 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from badgeryoke.decisions.counter_health import presence_register
-from badgeryoke.decisions.counter_health.detector import HOLD_MS, CounterHealthDetector, CounterState
-from badgeryoke.decisions.counter_health.error_bound import noticed_ms
+from badgeryoke.decisions.counter_health.counter_state import CounterState
+from badgeryoke.decisions.counter_health.detector import (
+    MIN_STATE_DURATION_MS,
+    CounterHealthDetector,
+)
+from badgeryoke.decisions.counter_health.error_bound import detection_time_ms
 from tests.decisions.counter_health.test_detector import Fleet
 
 GATEWAYS = 3
@@ -83,12 +87,12 @@
     @invariant()
     def parts_sum_to_one(self) -> None:
         """Each side holds what its members grant; one that hears nothing is a side of its own."""
-        if not hasattr(self, "fleet") or self.quiet_ms < noticed_ms(GATEWAYS) + HOLD_MS:
+        if not hasattr(self, "fleet") or self.quiet_ms < detection_time_ms(GATEWAYS) + MIN_STATE_DURATION_MS:
             return
         sides: dict[object, float] = {}
         for me, watch in self.fleet.watches.items():
             side: object = me if me in self.fleet.deaf else id(self.fleet.sides.get(me, self.fleet.whole))
-            sides[side] = max(sides.get(side, 0.0), watch.sight.part(0, GATEWAYS))
+            sides[side] = max(sides.get(side, 0.0), watch.visibility.visible_share(0, GATEWAYS))
         assert sum(sides.values()) <= 1.0 + 1e-9
 
     @invariant()
@@ -102,9 +106,11 @@
         if not hasattr(self, "fleet"):
             return
         self.fleet.deaf, self.fleet.sides = set(), {}
-        self.fleet.run(4 * presence_register.ERA_MS + 4 * HOLD_MS)
-        assert set(self.fleet.beliefs()) == {CounterState.SOUND}
-        assert all(watch.sight.part(0, GATEWAYS) == 1.0 for watch in self.fleet.watches.values())
+        self.fleet.run(4 * presence_register.REGISTER_PERIOD_MS + 4 * MIN_STATE_DURATION_MS)
+        assert set(self.fleet.beliefs()) == {CounterState.HEALTHY}
+        assert all(
+            watch.visibility.visible_share(0, GATEWAYS) == 1.0 for watch in self.fleet.watches.values()
+        )
 
 
 TestLosses = Losses.TestCase
@@ -126,5 +132,5 @@
     fleet.deaf = {0}
     fleet.whole.clear()
     fleet.run(3740.0)
-    parts = {me: watch.sight.part(0, GATEWAYS) for me, watch in fleet.watches.items()}
+    parts = {me: watch.visibility.visible_share(0, GATEWAYS) for me, watch in fleet.watches.items()}
     assert parts[0] + max(parts[1], parts[2]) <= 1.0 + 1e-9
--- a/tests/decisions/counter_health/test_worlds.py
+++ b/tests/decisions/counter_health/test_worlds.py
@@ -9,7 +9,7 @@
 from hypothesis import HealthCheck, Phase, given, settings
 from hypothesis import strategies as st
 
-from badgeryoke.decisions.counter_health.error_bound import CEILING_ERROR
+from badgeryoke.decisions.counter_health.error_bound import CEILING_ERROR_FRACTION
 from badgeryoke.testbed.scenario.model import Crowd, Fault, PlanText, Scenario, load
 from badgeryoke.testbed.simulation.counter import Answer, CounterModel
 from badgeryoke.testbed.simulation.world import World, play
@@ -66,7 +66,7 @@
         crowds=(Crowd(2, "distributor", (2, 3), (demand, demand), 0.73, 3000.0),),
     )
     verdict = play(scenario, seed).verdict
-    assert verdict.ceiling_excess <= CEILING_ERROR
+    assert verdict.ceiling_excess <= CEILING_ERROR_FRACTION
     assert verdict.unanswered == verdict.twice_answered == 0
 
 
@@ -84,7 +84,7 @@
         faults=(Fault(4000.0, "spike", "customers", amount=spike), Fault(4000.0, "split", "counter", sides)),
     )
     verdict = play(scenario, 1).verdict
-    assert verdict.ceiling_excess <= CEILING_ERROR and verdict.tries > 300
+    assert verdict.ceiling_excess <= CEILING_ERROR_FRACTION and verdict.tries > 300
 
 
 def test_the_same_seed_gives_the_same_bytes() -> None:
--- a/tests/decisions/test_behaviour_digests.py
+++ b/tests/decisions/test_behaviour_digests.py
@@ -17,16 +17,20 @@
 
 from badgeryoke.decisions import interface as api
 from badgeryoke.decisions import priority_admission
-from badgeryoke.decisions.counter_health.error_bound import beyond_units, noticed_ms, stated
+from badgeryoke.decisions.counter_health.error_bound import (
+    detection_time_ms,
+    max_excess_share,
+    max_excess_units,
+)
 from badgeryoke.decisions.counter_health.monitored_policy import MonitoredEngine
 from badgeryoke.decisions.plan_schedule.carry_over import (
     BucketLevel,
-    PlanFigures,
-    arrival_of,
-    carry,
-    carry_ceiling,
-    carry_quota,
-    room_of,
+    PlanLimits,
+    arrival_time,
+    carry_over,
+    carry_over_ceiling,
+    carry_over_quota,
+    units_at,
 )
 from badgeryoke.decisions.plan_schedule.schedule import PlanSchedule, ScheduleError
 from badgeryoke.testbed.checkers.quota_checker import Referee
@@ -418,7 +422,7 @@
     """A book of plans under random announcements, withdrawals and exemptions."""
     draw, digest, now = random.Random(61), Digest(), 1_000_000.0
     names = ("one", "two", "three")
-    book = PlanSchedule({name: PlanFigures(5.0 * place, 20.0 * place) for place, name in enumerate(names, 1)})
+    book = PlanSchedule({name: PlanLimits(5.0 * place, 20.0 * place) for place, name in enumerate(names, 1)})
     numbers = dict.fromkeys(names, 0)
     for _ in range(3000):
         now += draw.expovariate(1 / 400.0)
@@ -435,7 +439,7 @@
             digest.add((step, isinstance(made, ScheduleError) or made))
         elif step == 2:
             number = numbers.get(plan, 0) - draw.randrange(2)
-            taken = book.call_off(now, plan, number)
+            taken = book.cancel(now, plan, number)
             if not isinstance(taken, ScheduleError):
                 numbers[plan] = taken.number - 1
             digest.add((step, isinstance(taken, ScheduleError) or taken))
@@ -443,28 +447,28 @@
             own = book.exempt(now, customer, now + draw.choice((-5.0, 3000.0, 20_000.0, 1e12)), figures)
             digest.add((step, isinstance(own, ScheduleError) or own))
         else:
-            granted, holds = book.figures(now, plan, customer), book.version(now, plan)
+            granted, holds = book.limits_for(now, plan, customer), book.version(now, plan)
             digest.add(
                 (
                     step,
                     isinstance(granted, ScheduleError) or granted,
                     isinstance(holds, ScheduleError) or holds,
-                    book.next_change(now),
-                    book.waiting(now),
+                    book.next_change_at(now),
+                    book.pending_versions(now),
                 )
             )
     return digest
 
 
-def drawn_figures(draw: random.Random) -> PlanFigures:
+def drawn_figures(draw: random.Random) -> PlanLimits:
     """A plan's figures, now and then ones that are refused."""
     rate = draw.choice((0.0, 1.5, 6.0, 25.0, 25.0))
     burst = draw.choice((0.0, 8.0, 30.0, 30.0))
     return draw.choice(
         (
-            PlanFigures(rate, burst),
-            PlanFigures(rate, burst, 2 * rate, 2 * burst),
-            PlanFigures(rate, burst, 5.0, 9.0),
+            PlanLimits(rate, burst),
+            PlanLimits(rate, burst, 2 * rate, 2 * burst),
+            PlanLimits(rate, burst, 5.0, 9.0),
         )
     )
 
@@ -474,12 +478,14 @@
     draw, digest = random.Random(62), Digest()
     for _ in range(300):
         store = ceiling = BucketLevel(draw.uniform(-5.0, 30.0), draw.choice((0.0, 4.0)))
-        old = PlanFigures(6.0, 30.0, 12.0, 60.0)
+        old = PlanLimits(6.0, 30.0, 12.0, 60.0)
         for _ in range(6):
             new = drawn_figures(draw)
-            store, ceiling = carry_quota(store, old, new), carry_ceiling(ceiling, old, new)
-            at = arrival_of(5000.0, store.room, new)
-            digest.add((store, ceiling, carry(store, old.burst, new.burst), at, room_of(5000.0, at, new)))
+            store, ceiling = carry_over_quota(store, old, new), carry_over_ceiling(ceiling, old, new)
+            at = arrival_time(5000.0, store.units, new)
+            digest.add(
+                (store, ceiling, carry_over(store, old.burst, new.burst), at, units_at(5000.0, at, new))
+            )
             old = new
     return digest
 
@@ -491,13 +497,13 @@
         for settings in (LOAD, BUILD, CAPPED):
             digest.add(
                 (
-                    noticed_ms(gateways),
+                    detection_time_ms(gateways),
                     [
-                        beyond_units(plan, 3, gateways, full)
+                        max_excess_units(plan, 3, gateways, full)
                         for plan in settings.plans
                         for full in (False, True)
                     ],
-                    stated([(plan, 3) for plan in settings.plans], gateways, 12.0),
+                    max_excess_share([(plan, 3) for plan in settings.plans], gateways, 12.0),
                 )
             )
     return digest
--- a/tests/decisions/test_cost_by_fleet_size.py
+++ b/tests/decisions/test_cost_by_fleet_size.py
@@ -11,9 +11,10 @@
 import pytest
 
 from badgeryoke.decisions import interface as api
-from badgeryoke.decisions.counter_health.ceiling_guard import KEPT_MS, STEP_MS
-from badgeryoke.decisions.counter_health.detector import REACH, CounterHealthDetector
+from badgeryoke.decisions.counter_health.ceiling_guard import HISTORY_STEP_MS, SEND_HISTORY_MS
+from badgeryoke.decisions.counter_health.detector import CounterHealthDetector
 from badgeryoke.decisions.counter_health.monitored_policy import MonitoredEngine
+from badgeryoke.decisions.counter_health.peer_heartbeats import MAX_NEIGHBOUR_DISTANCE
 from badgeryoke.decisions.policy.engine import DecisionEngine
 from tests.support.samples import CAPPED, SETTINGS, START, outcome, server
 
@@ -29,8 +30,8 @@
     made: Any = (MonitoredEngine if watch else DecisionEngine)(settings, 1)
     made.handle(START, api.EndpointList(api.ListScope.FULL, tuple(server(n) for n in range(1, 9))))
     if watch:  # all are in sight, as in sound times
-        made.watch.sight.change(START, False, frozenset(), frozenset(), 0.0)
-        made.watch._known.update(dict.fromkeys(range(gateways), True))
+        made.detector.visibility.update_view(START, False, frozenset(), frozenset(), 0.0)
+        made.detector.peers.known_gateways.update(dict.fromkeys(range(gateways), True))
     lines = calls = 0
 
     def trace(frame: FrameType, event: str, _: object) -> Any:
@@ -56,7 +57,7 @@
                     todo.append(api.CounterReply(action.name, api.Verdict.OK, 2.0, totals[action.name]))
                 elif isinstance(action, api.SendAttempt):
                     todo.append(outcome(action, api.Verdict.OK, rtt=20.0))
-    module = made.module if watch else made
+    module = made.engine if watch else made
     held = len(module._quota._quotas) + len(module._pending) + len(module._quota._calls)
     kept = max((len(sent) for sent in made._guard._sent.values()), default=0) if watch else 0
     return {"lines": lines / REQUESTS, "calls": calls / REQUESTS, "held": held, "kept": kept}
@@ -79,13 +80,13 @@
             return default
 
     watch = CounterHealthDetector(12, 30, 50.0)
-    watch._known = Known()
-    watch.common_since(START, 0, 30)
-    assert len(seen) == len(watch.watched) == 2 * REACH
+    watch.peers.known_gateways = Known()
+    watch.all_visible_until(START, 0, 30)
+    assert len(seen) == len(watch.peers.neighbours) == 2 * MAX_NEIGHBOUR_DISTANCE
 
 
 def test_what_the_guard_keeps_of_a_customer_is_bounded_by_time_and_not_by_its_requests() -> None:
     """Each send was kept by itself, and all of them were gone through thrice for the next: 4,096 at most."""
     slow, fast = cost(3, True, 5.0), cost(3, True, 0.5)
-    assert slow["kept"] <= fast["kept"] + KEPT_MS / STEP_MS
-    assert fast["kept"] <= 0.5 * REQUESTS / STEP_MS + 1
+    assert slow["kept"] <= fast["kept"] + SEND_HISTORY_MS / HISTORY_STEP_MS
+    assert fast["kept"] <= 0.5 * REQUESTS / HISTORY_STEP_MS + 1
--- a/tests/decisions/test_plan_schedule.py
+++ b/tests/decisions/test_plan_schedule.py
@@ -10,26 +10,26 @@
 from hypothesis import strategies as st
 
 from badgeryoke.decisions.plan_schedule.carry_over import (
-    DEBT_MOST_MS,
+    MAX_DEBT_MS,
     BucketLevel,
-    PlanFigures,
-    arrival_of,
-    carry,
-    carry_ceiling,
-    carry_quota,
-    room_of,
+    PlanLimits,
+    arrival_time,
+    carry_over,
+    carry_over_ceiling,
+    carry_over_quota,
+    units_at,
 )
 from badgeryoke.decisions.plan_schedule.schedule import (
-    LEAD_MS,
-    MOST_AHEAD,
+    MAX_PENDING_VERSIONS,
+    MIN_LEAD_MS,
     PlanSchedule,
     PlanVersion,
     ScheduleError,
-    same_book,
+    schedules_agree,
 )
 
-OLD = PlanFigures(10.0, 40.0, 18.0, 60.0)
-LESS, MORE = PlanFigures(5.0, 20.0, 9.0, 30.0), PlanFigures(20.0, 80.0, 36.0, 120.0)
+OLD = PlanLimits(10.0, 40.0, 18.0, 60.0)
+LESS, MORE = PlanLimits(5.0, 20.0, 9.0, 30.0), PlanLimits(20.0, 80.0, 36.0, 120.0)
 NOW = 1_000_000.0
 
 
@@ -42,19 +42,19 @@
     for made, told in ((one, NOW), (two, NOW + 700.0)):  # told at different times
         assert isinstance(made.announce(told, "dealer", 1, NOW + 5000.0, LESS), PlanVersion)
     for at, figures in ((NOW + 4999.9, OLD), (NOW + 5000.0, LESS)):
-        assert one.figures(at, "dealer", 7) == two.figures(at, "dealer", 7) == figures
-    assert one.next_change(NOW) == NOW + 5000.0 and one.next_change(NOW + 5000.0) == math.inf
-    assert same_book((one, two), NOW + 1000.0)
+        assert one.limits_for(at, "dealer", 7) == two.limits_for(at, "dealer", 7) == figures
+    assert one.next_change_at(NOW) == NOW + 5000.0 and one.next_change_at(NOW + 5000.0) == math.inf
+    assert schedules_agree((one, two), NOW + 1000.0)
 
 
 def test_a_change_can_be_called_off_until_it_holds_and_takes_later_ones_with_it() -> None:
     made = book()
     made.announce(NOW, "dealer", 1, NOW + 5000.0, LESS)
     made.announce(NOW, "dealer", 2, NOW + 9000.0, MORE)
-    assert isinstance(made.call_off(NOW + 4999.0, "dealer", 1), PlanVersion)
-    assert made.waiting(NOW) == [] and made.figures(NOW + 20_000.0, "dealer", 7) == OLD
+    assert isinstance(made.cancel(NOW + 4999.0, "dealer", 1), PlanVersion)
+    assert made.pending_versions(NOW) == [] and made.limits_for(NOW + 20_000.0, "dealer", 7) == OLD
     made.announce(NOW + 6000.0, "dealer", 1, NOW + 9000.0, MORE)  # the number is free again
-    assert isinstance(made.call_off(NOW + 9000.0, "dealer", 1), ScheduleError)
+    assert isinstance(made.cancel(NOW + 9000.0, "dealer", 1), ScheduleError)
 
 
 @pytest.mark.parametrize(
@@ -63,22 +63,22 @@
         ("delaer", 1, 5000.0, LESS, "plan"),
         ("dealer", 2, 5000.0, LESS, "number"),
         ("dealer", 0, 5000.0, LESS, "number"),
-        ("dealer", 1, LEAD_MS - 1, LESS, "holds_from_ms"),
+        ("dealer", 1, MIN_LEAD_MS - 1, LESS, "holds_from_ms"),
         ("dealer", 1, math.nan, LESS, "holds_from_ms"),
-        ("dealer", 1, 5000.0, PlanFigures(-1.0, 1.0), "figures.rate"),
-        ("dealer", 1, 5000.0, PlanFigures(1.0, math.inf), "figures.burst"),
-        ("dealer", 1, 5000.0, PlanFigures(1.0, 0.0), "figures.burst"),
-        ("dealer", 1, 5000.0, PlanFigures(9.0, 9.0, 8.0, 20.0), "figures.ceiling_rate"),
-        ("dealer", 1, 5000.0, PlanFigures(9.0, 9.0, 20.0, 8.0), "figures.ceiling_burst"),
+        ("dealer", 1, 5000.0, PlanLimits(-1.0, 1.0), "figures.rate"),
+        ("dealer", 1, 5000.0, PlanLimits(1.0, math.inf), "figures.burst"),
+        ("dealer", 1, 5000.0, PlanLimits(1.0, 0.0), "figures.burst"),
+        ("dealer", 1, 5000.0, PlanLimits(9.0, 9.0, 8.0, 20.0), "figures.ceiling_rate"),
+        ("dealer", 1, 5000.0, PlanLimits(9.0, 9.0, 20.0, 8.0), "figures.ceiling_burst"),
     ],
 )
 def test_a_faulty_change_names_its_key_and_leaves_the_old_version(
-    plan: str, number: int, ahead: float, figures: PlanFigures, key: str
+    plan: str, number: int, ahead: float, figures: PlanLimits, key: str
 ) -> None:
     made = book()
     fault = made.announce(NOW, plan, number, NOW + ahead, figures)
     assert isinstance(fault, ScheduleError) and fault.key == key and fault.problem
-    assert made.figures(NOW + 60_000.0, "dealer", 7) == OLD
+    assert made.limits_for(NOW + 60_000.0, "dealer", 7) == OLD
 
 
 def test_the_same_version_again_is_no_fault_and_another_under_its_number_is() -> None:
@@ -92,9 +92,9 @@
     made = book()
     told = [
         made.announce(NOW, "dealer", number + 1, NOW + 5000.0 * (number + 1), LESS)
-        for number in range(MOST_AHEAD + 1)
+        for number in range(MAX_PENDING_VERSIONS + 1)
     ]
-    assert [isinstance(one, ScheduleError) for one in told] == [False] * MOST_AHEAD + [True]
+    assert [isinstance(one, ScheduleError) for one in told] == [False] * MAX_PENDING_VERSIONS + [True]
     for number in range(9, 60):
         now = NOW + 1e6 * number
         assert isinstance(made.announce(now, "dealer", number, now + 9000.0, MORE), PlanVersion)
@@ -104,10 +104,10 @@
 def test_an_exception_goes_before_the_plan_and_ends() -> None:
     made = book()
     made.exempt(NOW, 7, NOW + 3000.0, MORE)
-    assert made.figures(NOW + 2999.0, "dealer", 7) == MORE and made.figures(NOW, "dealer", 8) == OLD
-    assert made.figures(NOW + 3000.0, "dealer", 7) == OLD
+    assert made.limits_for(NOW + 2999.0, "dealer", 7) == MORE and made.limits_for(NOW, "dealer", 8) == OLD
+    assert made.limits_for(NOW + 3000.0, "dealer", 7) == OLD
     assert isinstance(made.exempt(NOW, 7, NOW, MORE), ScheduleError)
-    assert isinstance(made.figures(NOW, "no-plan", 8), ScheduleError)
+    assert isinstance(made.limits_for(NOW, "no-plan", 8), ScheduleError)
 
 
 @pytest.mark.parametrize(
@@ -123,23 +123,23 @@
         (-5.0, MORE, -5.0),
     ],
 )  # a rise gives no free burst
-def test_a_store_is_carried_over(room: float, new: PlanFigures, expected: float) -> None:
-    assert carry_quota(BucketLevel(room), OLD, new).room == expected
-    tat = arrival_of(NOW, expected, new)
-    assert room_of(NOW, tat, new) == pytest.approx(expected)
-    assert room_of(NOW + 1000.0, tat, new) == pytest.approx(min(expected + new.rate, new.burst))
+def test_a_store_is_carried_over(room: float, new: PlanLimits, expected: float) -> None:
+    assert carry_over_quota(BucketLevel(room), OLD, new).units == expected
+    tat = arrival_time(NOW, expected, new)
+    assert units_at(NOW, tat, new) == pytest.approx(expected)
+    assert units_at(NOW + 1000.0, tat, new) == pytest.approx(min(expected + new.rate, new.burst))
 
 
 def test_a_rise_that_is_taken_back_changes_nothing_and_what_filled_since_counts() -> None:
-    risen = carry_quota(BucketLevel(40.0), OLD, MORE)
-    assert carry_quota(risen, MORE, OLD) == BucketLevel(40.0)
+    risen = carry_over_quota(BucketLevel(40.0), OLD, MORE)
+    assert carry_over_quota(risen, MORE, OLD) == BucketLevel(40.0)
     filled = BucketLevel(60.0, risen.ungranted)  # 20 of the 40 that the rise added have filled
-    assert carry_quota(filled, MORE, OLD) == BucketLevel(40.0)
+    assert carry_over_quota(filled, MORE, OLD) == BucketLevel(40.0)
 
 
 def test_a_ceiling_forgives_nothing_and_a_new_one_begins_full() -> None:
-    assert carry_ceiling(BucketLevel(-20.0), OLD, LESS).room == -50.0
-    assert carry_ceiling(BucketLevel(0.0), PlanFigures(1.0, 1.0), MORE) == BucketLevel(120.0)
+    assert carry_over_ceiling(BucketLevel(-20.0), OLD, LESS).units == -50.0
+    assert carry_over_ceiling(BucketLevel(0.0), PlanLimits(1.0, 1.0), MORE) == BucketLevel(120.0)
 
 
 DEPTHS = st.lists(st.floats(1.0, 300.0), min_size=2, max_size=6)
@@ -151,11 +151,11 @@
     depths: list[float], part: float, rate: float
 ) -> None:
     store, ceiling = BucketLevel(depths[0] * part), BucketLevel(depths[0] * part)
-    used = depths[0] - ceiling.room
-    most = rate * DEBT_MOST_MS / 1000.0
+    used = depths[0] - ceiling.units
+    most = rate * MAX_DEBT_MS / 1000.0
     for old, new in pairwise(depths):
-        after = carry(store, old, new, most)
-        assert after.room <= max(store.room, -most) + 1e-6 and after.room <= new + 1e-6
-        assert -after.room <= most + 1e-6 and after.ungranted >= 0
-        store, ceiling = after, carry(ceiling, old, new)
-        assert new - ceiling.room - ceiling.ungranted == pytest.approx(used, abs=1e-6)  # used stays used
+        after = carry_over(store, old, new, most)
+        assert after.units <= max(store.units, -most) + 1e-6 and after.units <= new + 1e-6
+        assert -after.units <= most + 1e-6 and after.ungranted >= 0
+        store, ceiling = after, carry_over(ceiling, old, new)
+        assert new - ceiling.units - ceiling.ungranted == pytest.approx(used, abs=1e-6)  # used stays used
--- a/tests/decisions/test_priority_admission.py
+++ b/tests/decisions/test_priority_admission.py
@@ -87,7 +87,9 @@
     made = module(1, has_counter=False, gateway_count=1)
     sent = full(made, slow=True)
     assert (
-        sent == int(load_balancing.INITIAL_SERVER_CONCURRENCY * (1 + priority_admission.OVER)) + 4
+        sent
+        == int(load_balancing.INITIAL_SERVER_CONCURRENCY * (1 + priority_admission.SLOW_OVERCOMMIT_FRACTION))
+        + 4
     )  # and the spare
     [refused] = only(made.handle(START + 6.0, drawn("r", spread=1)), api.Reject)
     assert refused.cause == priority_admission.LOAD
--- a/tests/gateway/test_reload.py
+++ b/tests/gateway/test_reload.py
@@ -12,7 +12,7 @@
 import pytest
 
 from badgeryoke.decisions import interface as api
-from badgeryoke.decisions.plan_schedule.plan_change import replan
+from badgeryoke.decisions.plan_schedule.plan_change import apply_plan_change
 from badgeryoke.gateway.application import GatewayApplication
 from badgeryoke.gateway.config.platform_file import Config, ConfigError, lacking, read_config, shape
 from tests.decisions.test_simulator_adapter import PARAMS
@@ -217,7 +217,7 @@
     assert led.plan is samples.PLAIN  # its answer belongs to the old period
     made.handle(now, api.CounterReply(count.name, api.Verdict.OK, 1.0, 1.0))
     assert made._quota.quota_for(now, samples.request("b")).plan is plan
-    replan(now, led, replace(plan, ceiling_rate=9.0, ceiling_burst=60.0), samples.SETTINGS)
+    apply_plan_change(now, led, replace(plan, ceiling_rate=9.0, ceiling_burst=60.0), samples.SETTINGS)
     assert (
         led.headroom_bucket is not None and led.headroom_bucket.capacity(now) == 0.0
     )  # a new ceiling's headroom starts empty
--- a/tests/support/event_streams.py
+++ b/tests/support/event_streams.py
@@ -435,7 +435,7 @@
         if isinstance(made, MonitoredEngine):
             for change in made.take_changes():
                 self.kinds["belief"] = self.kinds.get("belief", 0) + 1
-                self.digest.add((change.at_ms, change.old, change.new, change.sign, change.hidden))
+                self.digest.add((change.at_ms, change.old, change.new, change.symptom, change.hidden))
         for action in actions:
             self._act(module, action)
         if self._events >= self.stream.handover_at > 0 and len(self._modules) == self.stream.modules:
