--- a/badgeryoke/gateway/counter_state_log.py
+++ b/badgeryoke/gateway/counter_state_log.py
@@ -20,7 +20,7 @@
         fields = {
             "old": change.old.value,
             "new": change.new.value,
-            "sign": change.sign.value,
+            "sign": change.symptom.value,
             "hidden": list(change.hidden),
             "since_ms": round(change.at_ms, 1),
         }
@@ -28,7 +28,7 @@
             level,
             "counter believed %s: %s%s",
             change.new.value,
-            change.sign.value,
+            change.symptom.value,
             f", gateways {list(change.hidden)}" if change.hidden else "",
             extra={"fields": fields},
         )
--- a/badgeryoke/gateway/dispatcher.py
+++ b/badgeryoke/gateway/dispatcher.py
@@ -321,7 +321,7 @@
             return
         for action in actions:
             self._execute(now, action)
-        if self._monitored_engine is not None and self._monitored_engine.watch.changes:
+        if self._monitored_engine is not None and self._monitored_engine.detector.changes:
             from badgeryoke.gateway.counter_state_log import log_counter_changes  # as the monitor itself
 
             log_counter_changes(self._monitored_engine)
