--- a/badgeryoke/decisions/priority_admission.py
+++ b/badgeryoke/decisions/priority_admission.py
@@ -41,9 +41,8 @@
 # While servers are slow, the first class may exceed their estimated concurrency by this fraction of it, ...
 SLOW_OVERCOMMIT_FRACTION = 3.0
 # ... and class n by 1/n of it.  Requests without reservation are shed long before.
-RESERVED_BUCKET_FRACTION = (
-    0.75  # of the buckets under a ceiling is left to a customer's reserved requests, ...
-)
+# Of the buckets under a ceiling, this fraction is left to a customer's reserved requests ...
+RESERVED_BUCKET_FRACTION = 0.75
 RESERVED_BUCKET_MS = 2000.0  # ... for so long after one of them: its others keep the rate, but not the burst
 MAX_PRIORITY_CUSTOMERS = 10_000  # with recent reserved requests; beyond, all are dropped
 CEILING, LOAD, SERVER = "ceiling", "load", "server"  # causes of a rejection, which are logged
@@ -56,9 +55,8 @@
         super().__init__(settings, seed)
         self._reserved_quota: CustomerQuota | None = None  # of all reserved requests: it limits nothing
         self._verdict: Verdict | None = None  # of the attempt whose end is being handled
-        self._priority_customers: dict[
-            int, float
-        ] = {}  # customers under a ceiling, and when the last reserved request came
+        # Customers under a ceiling, and when their last reserved request came.
+        self._priority_customers: dict[int, float] = {}
 
     def _has_recent_priority(self, now: float, customer: int) -> bool:
         return (
@@ -68,9 +66,8 @@
 
     def _counter_replied(self, now: float, event: CounterReply) -> list[Action]:
         quota = self._quota._calls.get(event.name) if self._priority_customers else None
-        if quota is not None and self._has_recent_priority(
-            now, quota.customer
-        ):  # decided in this order: reserved requests first
+        # Requests are decided in this order: reserved ones first.
+        if quota is not None and self._has_recent_priority(now, quota.customer):
             quota.requests_in_call = dict(
                 sorted(quota.requests_in_call.items(), key=lambda held: not self._is_reserved(held[0]))
             )
--- a/tests/decisions/counter_health/test_state_machine.py
+++ b/tests/decisions/counter_health/test_state_machine.py
@@ -19,7 +19,7 @@
     CounterHealthDetector,
 )
 from badgeryoke.decisions.counter_health.error_bound import detection_time_ms
-from tests.decisions.counter_health.test_detector import Fleet
+from tests.decisions.counter_health.test_detector import DetectorFleet
 
 GATEWAYS = 3
 SIDES = st.sampled_from((((0,), (1, 2)), ((0, 1), (2,)), ((0,), (1,), (2,)), ((1,), (0, 2))))
@@ -30,7 +30,7 @@
 
     @initialize()
     def begin(self) -> None:
-        self.fleet = Fleet(GATEWAYS)
+        self.fleet = DetectorFleet(GATEWAYS)
         self.fleet.run(6000.0)
         self.quiet_ms = 6000.0
         self.restarted = self.forgot = False
@@ -42,22 +42,22 @@
 
     @rule(sides=SIDES)
     def split(self, sides: tuple[tuple[int, ...], ...]) -> None:
-        if not self.fleet.sides and self.quiet_ms >= 3000.0:
-            self.fleet.split(*sides)
+        if not self.fleet.partitions and self.quiet_ms >= 3000.0:
+            self.fleet.partition(*sides)
             self.quiet_ms = 0.0
 
     @rule(keep=st.integers(0, GATEWAYS - 1), merge=st.booleans())
     def heal(self, keep: int, merge: bool) -> None:
-        sides, base = self.fleet.sides, dict(self.fleet.whole)
+        sides, base = self.fleet.partitions, dict(self.fleet.totals)
         if not sides:
             return
-        self.fleet.whole = dict(sides[keep])
+        self.fleet.totals = dict(sides[keep])
         if merge:
             for side in {id(one): one for one in sides.values() if one is not sides[keep]}.values():
                 for name, total in side.items():
-                    held = self.fleet.whole.get(name, base.get(name, 0.0))
-                    self.fleet.whole[name] = held + total - base.get(name, 0.0)
-        self.fleet.sides = {}
+                    held = self.fleet.totals.get(name, base.get(name, 0.0))
+                    self.fleet.totals[name] = held + total - base.get(name, 0.0)
+        self.fleet.partitions = {}
         self.quiet_ms = 0.0
 
     @rule(forget=st.booleans())
@@ -65,22 +65,22 @@
         if self.restarted and forget:  # the muster that it needs would be gone: the open case below
             return
         self.forgot = self.forgot or forget
-        for totals in (self.fleet.whole, *self.fleet.sides.values()):
+        for totals in (self.fleet.totals, *self.fleet.partitions.values()):
             if forget:
                 totals.clear()
         self.quiet_ms = 0.0
 
     @rule(deaf=st.sets(st.integers(0, GATEWAYS - 1)))
     def hear_nothing(self, deaf: set[int]) -> None:
-        self.fleet.deaf = deaf
+        self.fleet.isolated = deaf
         self.quiet_ms = 0.0
 
     @rule(me=st.integers(0, GATEWAYS - 1))
     def restart(self, me: int) -> None:
-        if self.fleet.sides or self.fleet.deaf or self.forgot:
+        if self.fleet.partitions or self.fleet.isolated or self.forgot:
             return  # the muster may be gone, or half of it: the open case below
-        self.fleet.watches[me] = CounterHealthDetector(me, GATEWAYS, 50.0)
-        self.fleet.seen = [row for row in self.fleet.seen if row[1] != me]
+        self.fleet.detectors[me] = CounterHealthDetector(me, GATEWAYS, 50.0)
+        self.fleet.state_changes = [row for row in self.fleet.state_changes if row[1] != me]
         self.restarted = True
         self.quiet_ms = 0.0
 
@@ -90,26 +90,28 @@
         if not hasattr(self, "fleet") or self.quiet_ms < detection_time_ms(GATEWAYS) + MIN_STATE_DURATION_MS:
             return
         sides: dict[object, float] = {}
-        for me, watch in self.fleet.watches.items():
-            side: object = me if me in self.fleet.deaf else id(self.fleet.sides.get(me, self.fleet.whole))
+        for me, watch in self.fleet.detectors.items():
+            side: object = (
+                me if me in self.fleet.isolated else id(self.fleet.partitions.get(me, self.fleet.totals))
+            )
             sides[side] = max(sides.get(side, 0.0), watch.visibility.visible_share(0, GATEWAYS))
         assert sum(sides.values()) <= 1.0 + 1e-9
 
     @invariant()
     def beliefs_do_not_flap(self) -> None:
         for me in range(GATEWAYS if hasattr(self, "fleet") else 0):
-            times = [at for at, who, _ in self.fleet.seen if who == me]
+            times = [at for at, who, _ in self.fleet.state_changes if who == me]
             assert all(later - earlier >= 2000.0 for earlier, later in pairwise(times[1:]))
 
     def teardown(self) -> None:
         """All is well again: everybody comes to see it."""
         if not hasattr(self, "fleet"):
             return
-        self.fleet.deaf, self.fleet.sides = set(), {}
+        self.fleet.isolated, self.fleet.partitions = set(), {}
         self.fleet.run(4 * presence_register.REGISTER_PERIOD_MS + 4 * MIN_STATE_DURATION_MS)
-        assert set(self.fleet.beliefs()) == {CounterState.HEALTHY}
+        assert set(self.fleet.states()) == {CounterState.HEALTHY}
         assert all(
-            watch.visibility.visible_share(0, GATEWAYS) == 1.0 for watch in self.fleet.watches.values()
+            watch.visibility.visible_share(0, GATEWAYS) == 1.0 for watch in self.fleet.detectors.values()
         )
 
 
@@ -126,11 +128,11 @@
 def test_a_restart_and_a_forgetful_counter_while_one_hears_nothing() -> None:
     """The smallest case that the state machine finds where restarts and swaps meet: listed in
     KNOWN-RED.txt."""
-    fleet = Fleet(GATEWAYS)
+    fleet = DetectorFleet(GATEWAYS)
     fleet.run(6000.0)
-    fleet.watches[1] = CounterHealthDetector(1, GATEWAYS, 50.0)
-    fleet.deaf = {0}
-    fleet.whole.clear()
+    fleet.detectors[1] = CounterHealthDetector(1, GATEWAYS, 50.0)
+    fleet.isolated = {0}
+    fleet.totals.clear()
     fleet.run(3740.0)
-    parts = {me: watch.visibility.visible_share(0, GATEWAYS) for me, watch in fleet.watches.items()}
+    parts = {me: watch.visibility.visible_share(0, GATEWAYS) for me, watch in fleet.detectors.items()}
     assert parts[0] + max(parts[1], parts[2]) <= 1.0 + 1e-9
--- a/tests/decisions/counter_health/test_worlds.py
+++ b/tests/decisions/counter_health/test_worlds.py
@@ -14,12 +14,12 @@
 from badgeryoke.testbed.simulation.counter import Answer, CounterModel
 from badgeryoke.testbed.simulation.world import World, play
 
-HARD = PlanText("distributor", 25.0, 45.0, 45.0, 80.0, 8.0)
-GROUPS = (((1,), (2, 3)), ((1, 2), (3,)), ((1,), (2,), (3,)), ((2,), (1, 3)))
+CEILING_PLAN = PlanText("distributor", 25.0, 45.0, 45.0, 80.0, 8.0)
+PARTITIONS = (((1,), (2, 3)), ((1, 2), (3,)), ((1,), (2,), (3,)), ((2,), (1, 3)))
 
 
 @st.composite
-def faults(draw: st.DrawFn) -> tuple[Fault, ...]:
+def drawn_faults(draw: st.DrawFn) -> tuple[Fault, ...]:
     """Up to six things that happen, in any order."""
     made = []
     for _ in range(draw(st.integers(1, 6))):
@@ -32,7 +32,7 @@
         groups: tuple[tuple[int, ...], ...] = ((draw(st.integers(1, 3)),),)
         mode, amount, target = "", 1000.0, "counter"
         if word == "split":
-            groups = draw(st.sampled_from(GROUPS))
+            groups = draw(st.sampled_from(PARTITIONS))
         elif word == "heal":
             mode, amount = draw(st.sampled_from(("", "keep"))), float(groups[0][0])
         elif word == "swap":
@@ -53,14 +53,14 @@
     phases=[Phase.generate],
     suppress_health_check=list(HealthCheck),
 )
-@given(faults(), st.integers(0, 2**16), st.floats(0.5, 7.0), st.floats(0.0, 200.0))
-def test_any_order_of_losses_keeps_the_ceiling(
+@given(drawn_faults(), st.integers(0, 2**16), st.floats(0.5, 7.0), st.floats(0.0, 200.0))
+def test_any_order_of_faults_keeps_the_ceiling(
     happening: tuple[Fault, ...], seed: int, demand: float, skew: float
 ) -> None:
     scenario = Scenario(
         "drawn",
         length_ms=8000.0,
-        plans=(HARD,),
+        plans=(CEILING_PLAN,),
         faults=happening,
         clock_skew_ms=skew,
         crowds=(Crowd(2, "distributor", (2, 3), (demand, demand), 0.73, 3000.0),),
@@ -71,15 +71,15 @@
 
 
 @pytest.mark.parametrize("spike", [10.0, 60.0])
-@pytest.mark.parametrize("sides", GROUPS)
-def test_a_burst_from_full_stores_at_the_moment_of_a_split_keeps_the_ceiling(
+@pytest.mark.parametrize("sides", PARTITIONS)
+def test_a_burst_from_full_buckets_during_a_partition_keeps_the_ceiling(
     spike: float, sides: tuple[tuple[int, ...], ...]
 ) -> None:
     """Before anybody can have seen it, all sides spend: 18 times the quota overdrew ceilings by a half."""
     scenario = Scenario(
         "burst",
         length_ms=7000.0,
-        plans=(HARD,),
+        plans=(CEILING_PLAN,),
         crowds=(Crowd(3, "distributor", (3, 3), (0.3, 0.3)),),
         faults=(Fault(4000.0, "spike", "customers", amount=spike), Fault(4000.0, "split", "counter", sides)),
     )
@@ -93,7 +93,7 @@
     assert first == second
 
 
-def test_a_split_without_the_watch_breaks_what_it_holds() -> None:
+def test_a_partition_without_health_checks_exceeds_the_quotas() -> None:
     """The check can fail: the module alone does not notice a split."""
     scenario, _ = load("counter-split")
     scenario = replace(scenario, length_ms=20_000.0)
@@ -101,7 +101,7 @@
     assert blind.verdict.beyond_share > 0.3 and seeing.verdict.beyond_share < 0.05
 
 
-def test_a_rejoin_counts_each_unit_once() -> None:
+def test_a_healed_partition_counts_each_unit_once() -> None:
     """What the counter holds once its halves are one is what all gateways told it, of every name that lived
     on both sides: nothing lost, nothing twice."""
     scenario, _ = load("counter-split")
--- a/tests/decisions/test_cost_by_fleet_size.py
+++ b/tests/decisions/test_cost_by_fleet_size.py
@@ -21,7 +21,7 @@
 CUSTOMERS, REQUESTS = 20, 400
 
 
-def cost(gateways: int, watch: bool, step_ms: float = 5.0) -> dict[str, float]:
+def measure_cost(gateways: int, watch: bool, step_ms: float = 5.0) -> dict[str, float]:
     """Requests of customers that come through all gateways, each of which reports; what one gateway spends.
 
     Sends are answered at once; the totals hold the others' use."""
@@ -65,12 +65,12 @@
 
 @pytest.mark.parametrize(("few", "watch"), [(4, False), (3, True)])
 def test_ten_times_the_gateways_cost_a_request_about_the_same(few: int, watch: bool) -> None:
-    one, ten = cost(few, watch), cost(10 * few, watch)
+    one, ten = measure_cost(few, watch), measure_cost(10 * few, watch)
     assert ten["lines"] <= 1.2 * one["lines"] and ten["calls"] <= 1.2 * one["calls"], (one, ten)
     assert ten["held"] <= one["held"] == CUSTOMERS
 
 
-def test_the_last_common_moment_is_found_among_the_neighbours_alone() -> None:
+def test_all_visible_until_reads_the_neighbours_only() -> None:
     """All of a customer's set were gone through, for each request of a plan with a ceiling."""
     seen = []
 
@@ -85,8 +85,8 @@
     assert len(seen) == len(watch.peers.neighbours) == 2 * MAX_NEIGHBOUR_DISTANCE
 
 
-def test_what_the_guard_keeps_of_a_customer_is_bounded_by_time_and_not_by_its_requests() -> None:
+def test_the_guards_history_of_a_customer_is_bounded_by_time_not_by_requests() -> None:
     """Each send was kept by itself, and all of them were gone through thrice for the next: 4,096 at most."""
-    slow, fast = cost(3, True, 5.0), cost(3, True, 0.5)
+    slow, fast = measure_cost(3, True, 5.0), measure_cost(3, True, 0.5)
     assert slow["kept"] <= fast["kept"] + SEND_HISTORY_MS / HISTORY_STEP_MS
     assert fast["kept"] <= 0.5 * REQUESTS / HISTORY_STEP_MS + 1
--- a/tests/decisions/test_plan_schedule.py
+++ b/tests/decisions/test_plan_schedule.py
@@ -28,43 +28,43 @@
     schedules_agree,
 )
 
-OLD = PlanLimits(10.0, 40.0, 18.0, 60.0)
-LESS, MORE = PlanLimits(5.0, 20.0, 9.0, 30.0), PlanLimits(20.0, 80.0, 36.0, 120.0)
+OLD_LIMITS = PlanLimits(10.0, 40.0, 18.0, 60.0)
+REDUCED_LIMITS, RAISED_LIMITS = PlanLimits(5.0, 20.0, 9.0, 30.0), PlanLimits(20.0, 80.0, 36.0, 120.0)
 NOW = 1_000_000.0
 
 
-def book() -> PlanSchedule:
-    return PlanSchedule({"dealer": OLD, "sari-sari": LESS})
+def plan_schedule() -> PlanSchedule:
+    return PlanSchedule({"dealer": OLD_LIMITS, "sari-sari": REDUCED_LIMITS})
 
 
-def test_a_change_holds_from_its_moment_at_every_gateway() -> None:
-    one, two = book(), book()
+def test_a_version_is_in_force_from_its_time_at_every_gateway() -> None:
+    one, two = plan_schedule(), plan_schedule()
     for made, told in ((one, NOW), (two, NOW + 700.0)):  # told at different times
-        assert isinstance(made.announce(told, "dealer", 1, NOW + 5000.0, LESS), PlanVersion)
-    for at, figures in ((NOW + 4999.9, OLD), (NOW + 5000.0, LESS)):
+        assert isinstance(made.announce(told, "dealer", 1, NOW + 5000.0, REDUCED_LIMITS), PlanVersion)
+    for at, figures in ((NOW + 4999.9, OLD_LIMITS), (NOW + 5000.0, REDUCED_LIMITS)):
         assert one.limits_for(at, "dealer", 7) == two.limits_for(at, "dealer", 7) == figures
     assert one.next_change_at(NOW) == NOW + 5000.0 and one.next_change_at(NOW + 5000.0) == math.inf
     assert schedules_agree((one, two), NOW + 1000.0)
 
 
-def test_a_change_can_be_called_off_until_it_holds_and_takes_later_ones_with_it() -> None:
-    made = book()
-    made.announce(NOW, "dealer", 1, NOW + 5000.0, LESS)
-    made.announce(NOW, "dealer", 2, NOW + 9000.0, MORE)
+def test_a_version_can_be_cancelled_until_it_is_in_force_and_later_ones_with_it() -> None:
+    made = plan_schedule()
+    made.announce(NOW, "dealer", 1, NOW + 5000.0, REDUCED_LIMITS)
+    made.announce(NOW, "dealer", 2, NOW + 9000.0, RAISED_LIMITS)
     assert isinstance(made.cancel(NOW + 4999.0, "dealer", 1), PlanVersion)
-    assert made.pending_versions(NOW) == [] and made.limits_for(NOW + 20_000.0, "dealer", 7) == OLD
-    made.announce(NOW + 6000.0, "dealer", 1, NOW + 9000.0, MORE)  # the number is free again
+    assert made.pending_versions(NOW) == [] and made.limits_for(NOW + 20_000.0, "dealer", 7) == OLD_LIMITS
+    made.announce(NOW + 6000.0, "dealer", 1, NOW + 9000.0, RAISED_LIMITS)  # the number is free again
     assert isinstance(made.cancel(NOW + 9000.0, "dealer", 1), ScheduleError)
 
 
 @pytest.mark.parametrize(
     ("plan", "number", "ahead", "figures", "key"),
     [
-        ("delaer", 1, 5000.0, LESS, "plan"),
-        ("dealer", 2, 5000.0, LESS, "number"),
-        ("dealer", 0, 5000.0, LESS, "number"),
-        ("dealer", 1, MIN_LEAD_MS - 1, LESS, "holds_from_ms"),
-        ("dealer", 1, math.nan, LESS, "holds_from_ms"),
+        ("delaer", 1, 5000.0, REDUCED_LIMITS, "plan"),
+        ("dealer", 2, 5000.0, REDUCED_LIMITS, "number"),
+        ("dealer", 0, 5000.0, REDUCED_LIMITS, "number"),
+        ("dealer", 1, MIN_LEAD_MS - 1, REDUCED_LIMITS, "holds_from_ms"),
+        ("dealer", 1, math.nan, REDUCED_LIMITS, "holds_from_ms"),
         ("dealer", 1, 5000.0, PlanLimits(-1.0, 1.0), "figures.rate"),
         ("dealer", 1, 5000.0, PlanLimits(1.0, math.inf), "figures.burst"),
         ("dealer", 1, 5000.0, PlanLimits(1.0, 0.0), "figures.burst"),
@@ -72,82 +72,85 @@
         ("dealer", 1, 5000.0, PlanLimits(9.0, 9.0, 20.0, 8.0), "figures.ceiling_burst"),
     ],
 )
-def test_a_faulty_change_names_its_key_and_leaves_the_old_version(
+def test_an_invalid_change_names_its_key_and_leaves_the_old_version(
     plan: str, number: int, ahead: float, figures: PlanLimits, key: str
 ) -> None:
-    made = book()
+    made = plan_schedule()
     fault = made.announce(NOW, plan, number, NOW + ahead, figures)
     assert isinstance(fault, ScheduleError) and fault.key == key and fault.problem
-    assert made.limits_for(NOW + 60_000.0, "dealer", 7) == OLD
+    assert made.limits_for(NOW + 60_000.0, "dealer", 7) == OLD_LIMITS
 
 
-def test_the_same_version_again_is_no_fault_and_another_under_its_number_is() -> None:
-    made = book()
-    first = made.announce(NOW, "dealer", 1, NOW + 5000.0, LESS)
-    assert made.announce(NOW + 4000.0, "dealer", 1, NOW + 5000.0, LESS) == first
-    assert isinstance(made.announce(NOW, "dealer", 1, NOW + 6000.0, LESS), ScheduleError)
+def test_announcing_a_version_is_idempotent_and_another_under_its_number_is_an_error() -> None:
+    made = plan_schedule()
+    first = made.announce(NOW, "dealer", 1, NOW + 5000.0, REDUCED_LIMITS)
+    assert made.announce(NOW + 4000.0, "dealer", 1, NOW + 5000.0, REDUCED_LIMITS) == first
+    assert isinstance(made.announce(NOW, "dealer", 1, NOW + 6000.0, REDUCED_LIMITS), ScheduleError)
 
 
-def test_versions_that_wait_are_bounded_and_old_ones_forgotten() -> None:
-    made = book()
+def test_pending_versions_are_bounded_and_old_ones_dropped() -> None:
+    made = plan_schedule()
     told = [
-        made.announce(NOW, "dealer", number + 1, NOW + 5000.0 * (number + 1), LESS)
+        made.announce(NOW, "dealer", number + 1, NOW + 5000.0 * (number + 1), REDUCED_LIMITS)
         for number in range(MAX_PENDING_VERSIONS + 1)
     ]
     assert [isinstance(one, ScheduleError) for one in told] == [False] * MAX_PENDING_VERSIONS + [True]
     for number in range(9, 60):
         now = NOW + 1e6 * number
-        assert isinstance(made.announce(now, "dealer", number, now + 9000.0, MORE), PlanVersion)
+        assert isinstance(made.announce(now, "dealer", number, now + 9000.0, RAISED_LIMITS), PlanVersion)
     assert len(made._versions["dealer"]) <= 4
 
 
-def test_an_exception_goes_before_the_plan_and_ends() -> None:
-    made = book()
-    made.exempt(NOW, 7, NOW + 3000.0, MORE)
-    assert made.limits_for(NOW + 2999.0, "dealer", 7) == MORE and made.limits_for(NOW, "dealer", 8) == OLD
-    assert made.limits_for(NOW + 3000.0, "dealer", 7) == OLD
-    assert isinstance(made.exempt(NOW, 7, NOW, MORE), ScheduleError)
+def test_an_exemption_takes_precedence_over_the_plan_and_ends() -> None:
+    made = plan_schedule()
+    made.exempt(NOW, 7, NOW + 3000.0, RAISED_LIMITS)
+    assert (
+        made.limits_for(NOW + 2999.0, "dealer", 7) == RAISED_LIMITS
+        and made.limits_for(NOW, "dealer", 8) == OLD_LIMITS
+    )
+    assert made.limits_for(NOW + 3000.0, "dealer", 7) == OLD_LIMITS
+    assert isinstance(made.exempt(NOW, 7, NOW, RAISED_LIMITS), ScheduleError)
     assert isinstance(made.limits_for(NOW, "no-plan", 8), ScheduleError)
 
 
 @pytest.mark.parametrize(
     ("room", "new", "expected"),
     [
-        (40.0, LESS, 20.0),
-        (30.0, LESS, 10.0),
-        (20.0, LESS, 0.0),
-        (10.0, LESS, -10.0),  # cuts: used stays used
-        (-30.0, LESS, -25.0),  # a debt that would last longer than the bound
-        (40.0, MORE, 40.0),
-        (0.0, MORE, 0.0),
-        (-5.0, MORE, -5.0),
+        (40.0, REDUCED_LIMITS, 20.0),
+        (30.0, REDUCED_LIMITS, 10.0),
+        (20.0, REDUCED_LIMITS, 0.0),
+        (10.0, REDUCED_LIMITS, -10.0),  # cuts: used stays used
+        (-30.0, REDUCED_LIMITS, -25.0),  # a debt that would last longer than the bound
+        (40.0, RAISED_LIMITS, 40.0),
+        (0.0, RAISED_LIMITS, 0.0),
+        (-5.0, RAISED_LIMITS, -5.0),
     ],
 )  # a rise gives no free burst
-def test_a_store_is_carried_over(room: float, new: PlanLimits, expected: float) -> None:
-    assert carry_over_quota(BucketLevel(room), OLD, new).units == expected
+def test_a_token_bucket_is_carried_over(room: float, new: PlanLimits, expected: float) -> None:
+    assert carry_over_quota(BucketLevel(room), OLD_LIMITS, new).units == expected
     tat = arrival_time(NOW, expected, new)
     assert units_at(NOW, tat, new) == pytest.approx(expected)
     assert units_at(NOW + 1000.0, tat, new) == pytest.approx(min(expected + new.rate, new.burst))
 
 
-def test_a_rise_that_is_taken_back_changes_nothing_and_what_filled_since_counts() -> None:
-    risen = carry_over_quota(BucketLevel(40.0), OLD, MORE)
-    assert carry_over_quota(risen, MORE, OLD) == BucketLevel(40.0)
+def test_an_increase_that_is_taken_back_changes_nothing_and_refilled_units_count() -> None:
+    risen = carry_over_quota(BucketLevel(40.0), OLD_LIMITS, RAISED_LIMITS)
+    assert carry_over_quota(risen, RAISED_LIMITS, OLD_LIMITS) == BucketLevel(40.0)
     filled = BucketLevel(60.0, risen.ungranted)  # 20 of the 40 that the rise added have filled
-    assert carry_over_quota(filled, MORE, OLD) == BucketLevel(40.0)
+    assert carry_over_quota(filled, RAISED_LIMITS, OLD_LIMITS) == BucketLevel(40.0)
 
 
-def test_a_ceiling_forgives_nothing_and_a_new_one_begins_full() -> None:
-    assert carry_over_ceiling(BucketLevel(-20.0), OLD, LESS).units == -50.0
-    assert carry_over_ceiling(BucketLevel(0.0), PlanLimits(1.0, 1.0), MORE) == BucketLevel(120.0)
+def test_a_ceilings_debt_is_not_limited_and_a_new_ceiling_starts_full() -> None:
+    assert carry_over_ceiling(BucketLevel(-20.0), OLD_LIMITS, REDUCED_LIMITS).units == -50.0
+    assert carry_over_ceiling(BucketLevel(0.0), PlanLimits(1.0, 1.0), RAISED_LIMITS) == BucketLevel(120.0)
 
 
-DEPTHS = st.lists(st.floats(1.0, 300.0), min_size=2, max_size=6)
+BURSTS = st.lists(st.floats(1.0, 300.0), min_size=2, max_size=6)
 
 
 @settings(max_examples=200, deadline=None, derandomize=True)
-@given(DEPTHS, st.floats(-1.0, 1.0), st.floats(0.5, 50.0))
-def test_no_order_of_changes_gives_units_or_locks_a_customer_out(
+@given(BURSTS, st.floats(-1.0, 1.0), st.floats(0.5, 50.0))
+def test_no_order_of_changes_grants_units_or_rejects_a_customer_for_too_long(
     depths: list[float], part: float, rate: float
 ) -> None:
     store, ceiling = BucketLevel(depths[0] * part), BucketLevel(depths[0] * part)
--- a/tests/decisions/test_priority_admission.py
+++ b/tests/decisions/test_priority_admission.py
@@ -27,35 +27,37 @@
 from tests.support.samples import START, only
 
 
-def module(servers: int = 4, **changes: object) -> priority_admission.PriorityDecisionEngine:
+def priority_engine(servers: int = 4, **changes: object) -> priority_admission.PriorityDecisionEngine:
     made = priority_admission.PriorityDecisionEngine(replace(samples.SETTINGS, **changes), 1)  # type: ignore[arg-type]
     listed = tuple(samples.server(number) for number in range(1, servers + 1))
     made.handle(START, api.EndpointList(api.ListScope.CACHED, listed))
     return made
 
 
-def drawn(rid: str, rank: int = 1, **more: object) -> api.Request:
+def reserved_request(rid: str, rank: int = 1, **more: object) -> api.Request:
     return replace(samples.request(rid, **more), reservation_rank=rank)  # type: ignore[arg-type]
 
 
-def test_with_the_quota_used_up_only_what_is_reserved_is_sent() -> None:
-    made = module(has_counter=False, gateway_count=1)
+def test_with_the_quota_used_up_only_reserved_requests_are_sent() -> None:
+    made = priority_engine(has_counter=False, gateway_count=1)
     asked = [made.handle(START, samples.request(f"o{n}", spread=1)) for n in range(8)]
     assert sum(len(only(one, api.SendAttempt)) for one in asked) == 4  # the burst
     for n in range(8):
-        assert only(made.handle(START + 1.0, drawn(f"r{n}", spread=1)), api.SendAttempt)
+        assert only(made.handle(START + 1.0, reserved_request(f"r{n}", spread=1)), api.SendAttempt)
     assert only(made.handle(START + 2.0, samples.request("late", spread=1)), api.Reject)
     # It took nothing of the quota: that fills as if nothing had been sent beside it.
     assert only(made.handle(START + 1010.0, samples.request("filled", spread=1)), api.SendAttempt)
 
 
-def test_an_open_limit_counts_no_reserved_attempt_and_holds_none() -> None:
+def test_the_limit_of_open_requests_neither_counts_nor_limits_reserved_attempts() -> None:
     plan = api.Plan("plain", rate=100.0, burst=100.0, concurrency_limit=1)
-    made = module(has_counter=False, gateway_count=1, plans=(plan,))
-    assert all(only(made.handle(START, drawn(f"r{n}", spread=1)), api.SendAttempt) for n in range(3))
+    made = priority_engine(has_counter=False, gateway_count=1, plans=(plan,))
+    assert all(
+        only(made.handle(START, reserved_request(f"r{n}", spread=1)), api.SendAttempt) for n in range(3)
+    )
     assert only(made.handle(START, samples.request("a", spread=1)), api.SendAttempt)
     assert only(made.handle(START, samples.request("b", spread=1)), api.Reject)
-    assert only(made.handle(START, drawn("r", spread=1)), api.SendAttempt)
+    assert only(made.handle(START, reserved_request("r", spread=1)), api.SendAttempt)
 
 
 def full(made: priority_admission.PriorityDecisionEngine, slow: bool) -> int:
@@ -64,48 +66,53 @@
         made._balancer._relative_latency = 1.0
     sent = 0
     while (
-        only(made.handle(START + 5.0, drawn(f"f{sent}", spread=1, customer=50 + sent)), api.SendAttempt)
+        only(
+            made.handle(START + 5.0, reserved_request(f"f{sent}", spread=1, customer=50 + sent)),
+            api.SendAttempt,
+        )
         and sent < 1000
     ):
         sent += 1
     return sent
 
 
-def test_places_that_are_short_go_to_what_is_reserved_first() -> None:
+def test_scarce_capacity_goes_to_reserved_requests_first() -> None:
     plenty = api.Plan("plain", rate=1000.0, burst=1000.0)
-    made = module(1, has_counter=False, gateway_count=1, plans=(plenty,))
+    made = priority_engine(1, has_counter=False, gateway_count=1, plans=(plenty,))
     sent = [only(made.handle(START, samples.request(f"o{n}", spread=1)), api.SendAttempt) for n in range(40)]
     out = sum(map(len, sent))
     assert 5 <= out <= 8  # the limit of attempts out
-    assert all(only(made.handle(START, drawn(f"r{n}", spread=1)), api.SendAttempt) for n in range(5))
+    assert all(
+        only(made.handle(START, reserved_request(f"r{n}", spread=1)), api.SendAttempt) for n in range(5)
+    )
     for n in range(2):  # two places are free again, and not for these
         made.handle(START + 1.0, api.AttemptOutcome(f"o{n}", 0, 1, api.Verdict.OK, 1.0, True))
         assert only(made.handle(START + 1.0, samples.request(f"again{n}", spread=1)), api.Reject)
 
 
-def test_of_what_is_reserved_the_lower_class_goes_first_and_where_nothing_bears_it_all_goes() -> None:
-    made = module(1, has_counter=False, gateway_count=1)
+def test_the_lower_priority_class_is_shed_first_and_all_without_capacity() -> None:
+    made = priority_engine(1, has_counter=False, gateway_count=1)
     sent = full(made, slow=True)
     assert (
         sent
         == int(load_balancing.INITIAL_SERVER_CONCURRENCY * (1 + priority_admission.SLOW_OVERCOMMIT_FRACTION))
         + 4
     )  # and the spare
-    [refused] = only(made.handle(START + 6.0, drawn("r", spread=1)), api.Reject)
+    [refused] = only(made.handle(START + 6.0, reserved_request("r", spread=1)), api.Reject)
     assert refused.cause == priority_admission.LOAD
     for out, goes in ((2.6, True), (1.4, True), (3.9, False)):
         made._balancer._in_flight = int(
             out * (load_balancing.INITIAL_SERVER_CONCURRENCY + load_balancing.SPARE_CONCURRENCY)
         )
-        second = made.handle(START + 7.0, drawn(f"s{out}", rank=2, spread=1))
-        first = made.handle(START + 7.0, drawn(f"t{out}", rank=1, spread=1))
+        second = made.handle(START + 7.0, reserved_request(f"s{out}", rank=2, spread=1))
+        first = made.handle(START + 7.0, reserved_request(f"t{out}", rank=1, spread=1))
         assert only(first, api.SendAttempt) and bool(only(second, api.SendAttempt)) is (goes and out < 2.5)
 
 
-def test_a_reserved_request_is_tried_elsewhere_without_the_budget_of_all_others() -> None:
-    made = module(has_counter=False, gateway_count=1)
+def test_a_reserved_request_is_retried_without_using_the_common_retry_budget() -> None:
+    made = priority_engine(has_counter=False, gateway_count=1)
     made._retry_budget = 0.0
-    [first] = only(made.handle(START, drawn("r", spread=1)), api.SendAttempt)
+    [first] = only(made.handle(START, reserved_request("r", spread=1)), api.SendAttempt)
     [second] = only(made.handle(START + 1.0, samples.outcome(first, api.Verdict.QUEUE_FULL)), api.SendAttempt)
     assert second.server != first.server and made._retry_budget < 1
     [plain] = only(made.handle(START, samples.request("o", spread=1)), api.SendAttempt)
@@ -182,14 +189,16 @@
         assert sent[True] + sent[False] > 0.85 * plan.ceiling_rate * SECONDS
 
 
-def test_others_of_the_customer_take_nothing_that_its_contract_needs_under_the_ceiling() -> None:
+def test_the_customers_other_requests_use_nothing_that_its_reservation_needs_under_the_ceiling() -> None:
     _, asked, sent = three(8.0, 60.0)  # the quota is 5
     assert sent[True] >= 0.9 * asked[True] and sent[False] > 0
 
 
-def test_a_refusal_for_the_ceiling_says_so() -> None:
-    made = module(plans=(replace(samples.CAPPED, ceiling_rate=5.0, ceiling_burst=5.0, ceiling_slack=0.0),))
-    counts = only(made.handle(START, drawn("r", plan="capped")), api.AddToCounter)
+def test_a_rejection_by_the_ceiling_names_its_cause() -> None:
+    made = priority_engine(
+        plans=(replace(samples.CAPPED, ceiling_rate=5.0, ceiling_burst=5.0, ceiling_slack=0.0),)
+    )
+    counts = only(made.handle(START, reserved_request("r", plan="capped")), api.AddToCounter)
     [refused] = only(samples.answer(made, START + 2.0, counts, {counts[0].name: 50.0}), api.Reject)
     assert refused.cause == priority_admission.CEILING
 
@@ -227,7 +236,7 @@
     return out
 
 
-def test_where_nothing_is_reserved_every_action_is_as_without() -> None:
+def test_without_reserved_requests_every_action_is_unchanged() -> None:
     plain, other = (
         play(engine.DecisionEngine(samples.SETTINGS, 9)),
         play(priority_admission.PriorityDecisionEngine(samples.SETTINGS, 9)),
@@ -240,7 +249,7 @@
     }
 
 
-class StandIn:
+class ReservationsStub:
     """Stakes of one customer, 5: as many units as `room` says, and who waits gets his turn when `due` says
     so."""
 
@@ -289,7 +298,7 @@
             reserves=True,
         )
         self.core.members(api.EndpointList(api.ListScope.FULL, (samples.server(1),)))
-        self.stakes = StandIn(room)
+        self.stakes = ReservationsStub(room)
         self.core.guarantee(self.stakes, lambda: self.loop.time() * 1000.0)
         self.ask()  # the burst; drawn, if there is room
         if not room:
@@ -300,7 +309,7 @@
         self.loop.run()
 
 
-def test_what_is_drawn_is_sent_and_the_rest_waits_its_turn_or_is_ordinary() -> None:
+def test_reserved_requests_are_sent_and_the_others_wait_or_are_ordinary() -> None:
     bench = Guaranteed(room=2.0)
     bench.ask()
     bench.last.served(b"drawn")
@@ -329,7 +338,7 @@
     assert not bench.stakes.waiting and isinstance(bench.answers[-1], Rejected)
 
 
-def test_what_was_drawn_and_not_served_is_counted_by_its_cause_and_answered_once() -> None:
+def test_a_reserved_request_not_served_is_counted_by_cause_and_answered_once() -> None:
     bench = Guaranteed(room=4.0)
     bench.ask()
     while len(bench.answers) < 2:  # as often as attempts are allowed
@@ -343,7 +352,7 @@
     assert bench.stakes.short == [("load", 1.0), ("server", 1.0)]
 
 
-def test_who_waits_may_leave_and_a_fault_of_the_stakes_costs_no_query() -> None:
+def test_a_waiting_client_may_disconnect_and_a_reservation_fault_loses_no_query() -> None:
     bench = Guaranteed()
     left = bench.ask()
     left()
@@ -360,7 +369,7 @@
     assert len(bench.answers) == 2 and isinstance(bench.answers[-1], Rejected)
 
 
-def test_without_contracts_nothing_of_the_fleet_is_asked() -> None:
+def test_without_reservations_the_cluster_is_not_called() -> None:
     bench = Bench()
     assert bench.core._guarantee is None and type(bench.core._module) is engine.DecisionEngine
     bench.core.submit(Request("x", "balance-check", "free", 5, 2000.0, 1.0, 1), bench.answers.append)
@@ -368,7 +377,7 @@
     assert bench.link.executions
 
 
-def test_the_fleets_part_hands_its_stakes_to_the_core(tmp_path: Path) -> None:
+def test_the_cluster_passes_its_reservations_to_the_dispatcher(tmp_path: Path) -> None:
     async def test() -> None:
         made, told = ClusterService(cluster_settings(tmp_path), "a"), list[Any]()
         made.on_reservation_client = lambda floor, now: told.extend((floor, now))
