--- a/badgeryoke/cluster/rolling_restart/observation.py
+++ b/badgeryoke/cluster/rolling_restart/observation.py
@@ -8,7 +8,7 @@
 from badgeryoke.cluster.rolling_restart.conditions import ClusterConditions
 from badgeryoke.cluster.rolling_restart.plan import RollingRestart
 from badgeryoke.cluster.rolling_restart.transitions import UNAVAILABLE_PHASES, GatewayPhase
-from badgeryoke.cluster.state_machine.part import LeaderView
+from badgeryoke.cluster.state_machine_part import LeaderView
 
 
 def observe_conditions(
@@ -60,8 +60,8 @@
 
 def _emptied_zones(view: LeaderView, unavailable: set[str], may_empty_zone: bool) -> int:
     alive = _alive_names(view)
-    served = {view.halls[name] for name in alive if name in view.halls}
-    remaining = {view.halls[name] for name in alive - unavailable if name in view.halls}
+    served = {view.zones[name] for name in alive if name in view.zones}
+    remaining = {view.zones[name] for name in alive - unavailable if name in view.zones}
     return 0 if may_empty_zone and remaining else len(served - remaining)
 
 
--- a/badgeryoke/gateway/cluster/admin_calls.py
+++ b/badgeryoke/gateway/cluster/admin_calls.py
@@ -18,8 +18,8 @@
 import msgspec
 
 from badgeryoke.cluster.errors import ClusterError, InvalidCall
-from badgeryoke.cluster.state_machine.machine import REGISTRY
-from badgeryoke.cluster.state_machine.part import ApplyResult, Command
+from badgeryoke.cluster.state_machine.command_registry import REGISTRY
+from badgeryoke.cluster.state_machine_part import ApplyResult, Command
 
 MAX_ID_CHARS = 128
 # Of what a call has wrong, as an error quotes it.
@@ -88,7 +88,12 @@
     if error is None:
         assert isinstance(result, ApplyResult)
         return b"+OK " + msgspec.json.encode(result.value) + b"\n"
-    fields = {**msgspec.to_builtins(error), "error": error.code, "do": error.do, "retry": error.retry}
+    fields = {
+        **msgspec.to_builtins(error),
+        "error": error.code,
+        "do": error.remedy,
+        "retry": error.is_retryable,
+    }
     return b"-ERR " + msgspec.json.encode(fields) + b"\n"
 
 
--- a/badgeryoke/gateway/cluster/running_member.py
+++ b/badgeryoke/gateway/cluster/running_member.py
@@ -42,7 +42,7 @@
 class LeaseClientHost(Protocol):
     """A node that polls lease clients; a stand-in may have none."""
 
-    holders: list[LeaseClient]
+    lease_clients: list[LeaseClient]
 
 
 class RunningMember:
@@ -65,8 +65,8 @@
         self._loop = asyncio.get_running_loop()
         self._driver: NodeDriver | None = None
         self.transport = ClusterTransport(
-            setup.fleet,
-            setup.id,
+            setup.cluster_name,
+            setup.member_id,
             {member.name: parse_address(member.address) for member in setup.members},
             self.on_messages,
             _log_transport_error,
@@ -99,7 +99,7 @@
         self._storage.persisted_groups = {}  # the node's own from here on
         self._driver = NodeDriver(
             node,
-            self._setup.me,
+            self._setup.member_name,
             self._clock,
             invariants,
             self.writer,
@@ -114,11 +114,11 @@
         if not isinstance(self.node, LeaseClientHost):
             return None
         setup = self._setup
-        zone = next(member.hall for member in setup.members if member.name == setup.me)
+        zone = next(member.zone for member in setup.members if member.name == setup.member_name)
         process_token = secrets.token_hex(_PROCESS_TOKEN_BYTES)
-        client = ReservationClient(setup.id, process_token, setup.timings, zone, len(setup.members))
+        client = ReservationClient(setup.member_id, process_token, setup.timings, zone, len(setup.members))
         client.wake = self.wake
-        self.node.holders.append(client)
+        self.node.lease_clients.append(client)
         return client
 
     def start(self, sockets: list[socket.socket]) -> None:
@@ -127,8 +127,8 @@
         self.transport.dial_all()
         log.info(
             "cluster %s: member %s started, %d members, %d groups stored",
-            self._setup.fleet,
-            self._setup.id,
+            self._setup.cluster_name,
+            self._setup.member_id,
             len(self._setup.members),
             self._storage.group_count,
         )
--- a/badgeryoke/gateway/cluster/startup.py
+++ b/badgeryoke/gateway/cluster/startup.py
@@ -13,8 +13,8 @@
 from badgeryoke.cluster.errors import ClusterError
 from badgeryoke.cluster.events import Entries, HardState, PersistRecords
 from badgeryoke.cluster.messages import MemberId
-from badgeryoke.cluster.node import ANY, Member, NodeSetup
-from badgeryoke.cluster.placement.directory import forced
+from badgeryoke.cluster.node import ANY_SERVER, Member, NodeSetup
+from badgeryoke.cluster.placement.forced_recovery import force_sole_voter
 from badgeryoke.gateway.address import parse_address
 from badgeryoke.gateway.cluster.settings import ClusterSettings
 from badgeryoke.gateway.cluster.storage import ClusterStorage, StorageLocked, open_storage
@@ -29,7 +29,7 @@
     """The settings in the form in which a node takes them."""
     connection_limits = dict(settings.servers.limits)
     if settings.servers.connections:
-        connection_limits[ANY] = settings.servers.connections
+        connection_limits[ANY_SERVER] = settings.servers.connections
     return NodeSetup(
         settings.name,
         settings.me or gateway_name,
@@ -104,7 +104,7 @@
     if persisted is None:
         log.warning("fleet.forced.%s: this member holds no copy of it", group)
         return
-    changed = forced(persisted, group, member_id, lost_members, unix_ms())
+    changed = force_sole_voter(persisted, group, member_id, lost_members, unix_ms())
     if changed is persisted:
         log.warning(
             "fleet.forced.%s: nothing to do: done already, or these are not all its other members; "
--- a/badgeryoke/gateway/cluster/transport/error_reporter.py
+++ b/badgeryoke/gateway/cluster/transport/error_reporter.py
@@ -21,7 +21,7 @@
 
     def report(self, error: ClusterError) -> None:
         """Report an error, unless its like was reported lately."""
-        key = member_name(error.whom), error.code
+        key = member_name(error.subject), error.code
         now_s = asyncio.get_running_loop().time()
         if key in self._reported_at_s and now_s - self._reported_at_s[key] < REPORT_INTERVAL_S:
             return
--- a/badgeryoke/gateway/cluster/upstream_lease.py
+++ b/badgeryoke/gateway/cluster/upstream_lease.py
@@ -14,7 +14,7 @@
 from tornado.iostream import IOStream
 
 from badgeryoke.cluster.connection_limits.lease_holder import ConnectionLeaseHolder
-from badgeryoke.gateway.actor import new_socket
+from badgeryoke.gateway.connecting import new_socket
 
 
 class LeasedUpstream(Protocol):
@@ -84,7 +84,7 @@
     def dial(
         self, address: tuple[str, int], max_buffer_bytes: int
     ) -> tuple[IOStream, asyncio.Future[IOStream]]:
-        """As `badgeryoke.gateway.actor.dial`, where `may_open` was true.  Raises OSError."""
+        """As `badgeryoke.gateway.connecting.dial`, where `may_open` was true.  Raises OSError."""
         holder = self._owner.lease_holder
         assert holder is not None
         stream: IOStream = LeasedStream(new_socket(address), max_buffer_bytes, self)
--- a/badgeryoke/gateway/discovery/client.py
+++ b/badgeryoke/gateway/discovery/client.py
@@ -20,8 +20,9 @@
 from tornado.iostream import IOStream
 
 from badgeryoke.decisions.interface import EndpointList, ListScope
-from badgeryoke.gateway.actor import Actor, ActorScheduler, dial
+from badgeryoke.gateway.actor import Actor, ActorScheduler
 from badgeryoke.gateway.address import Address
+from badgeryoke.gateway.connecting import dial
 from badgeryoke.gateway.discovery.backoff import DiscoveryBackoff
 from badgeryoke.gateway.discovery.endpoint_list import Endpoint, EndpointSnapshot, read_endpoint_snapshot
 from badgeryoke.gateway.discovery.endpoint_table import EndpointTable
--- a/badgeryoke/gateway/discovery/long_poll.py
+++ b/badgeryoke/gateway/discovery/long_poll.py
@@ -8,8 +8,8 @@
 
 from tornado.iostream import IOStream, StreamClosedError
 
-from badgeryoke.gateway.actor import READ_CHUNK
 from badgeryoke.gateway.address import Address
+from badgeryoke.gateway.connecting import READ_CHUNK_BYTES
 from badgeryoke.gateway.discovery.http_response import HttpResponse
 
 T = TypeVar("T")
@@ -65,7 +65,7 @@
         deadline = min(deadline, overdue_at)
         try:
             complete = response.feed(
-                await within(deadline - now(), stream.read_bytes(READ_CHUNK, partial=True))
+                await within(deadline - now(), stream.read_bytes(READ_CHUNK_BYTES, partial=True))
             )
         except StreamClosedError as closed:
             if closed.real_error is not None or not response.connection_closed():  # a reset is no end
--- a/badgeryoke/gateway/quota_counter/client.py
+++ b/badgeryoke/gateway/quota_counter/client.py
@@ -88,7 +88,7 @@
             self._pending.append(call)
             self._set_timer()
 
-    def turn_ended(self) -> None:
+    def batch_ended(self) -> None:
         """Write the calls gathered in this turn."""
         active = self._active
         if not self._unsent or active is None:
--- a/badgeryoke/testbed/cluster_simulation/gateway.py
+++ b/badgeryoke/testbed/cluster_simulation/gateway.py
@@ -26,7 +26,7 @@
 from badgeryoke.cluster.rolling_restart.commands import ReadRollingRestarts, StartRollingRestart
 from badgeryoke.cluster.rolling_restart.gateway_agent import DesiredState, RollingRestartAgent
 from badgeryoke.cluster.rolling_restart.minimum_duration import minimum_duration_ms
-from badgeryoke.cluster.state_machine.part import FLEET, ApplyResult
+from badgeryoke.cluster.state_machine_part import FLEET, ApplyResult
 from badgeryoke.testbed.checkers.contract_ledger import LEFT_OUT_MS, Book, least
 from badgeryoke.testbed.cluster_simulation.clock import UNIX_MS
 from badgeryoke.testbed.scenario.model import ContractText, RollText
@@ -547,7 +547,7 @@
                 or not node.replicas[FLEET].leading
             ):
                 continue
-            roll = node.states[FLEET].parts["rolls"].active
+            roll = node.state_machines[FLEET].parts["rolls"].active
             if roll is None:
                 continue
             stands = [one.phase.value for one in roll.gateways.values()]
@@ -583,7 +583,7 @@
         true, rolled, keeper, node = self._calendar.now, side.rolled, side.keeper, machine.node
         assert node is not None
         keeper.need_multiple, keeper.draining = rolled.need_multiple, rolled.must_not_lead
-        node.lead_nothing = rolled.must_not_lead
+        node.avoid_leadership = rolled.must_not_lead
         groups = node.replicas.items()
         drained = rolled.paused and side.paused_at < true - FRONT_MS
         whole = all(
--- a/tests/cluster/test_golden_cluster.py
+++ b/tests/cluster/test_golden_cluster.py
@@ -18,7 +18,8 @@
 import pytest
 
 from badgeryoke.cluster import key_value, messages, unreported_usage
-from badgeryoke.cluster.bootstrap import BootstrapRecord as FoundingRecord
+from badgeryoke.cluster.bootstrap_record import BootstrapRecord
+from badgeryoke.cluster.call_router import reply_decoder as forwarded_answers
 from badgeryoke.cluster.connection_limits.commands import ConnectionLeaseRequest as ConnectionsAsk
 from badgeryoke.cluster.errors import AnyError, ClusterError
 from badgeryoke.cluster.events import (
@@ -34,10 +35,10 @@
 from badgeryoke.cluster.invariants import Invariants, Rule
 from badgeryoke.cluster.messages import AnyMessage, Message
 from badgeryoke.cluster.node import ClusterNode
-from badgeryoke.cluster.node import _replies as forwarded_answers
 from badgeryoke.cluster.node_setup import NodeSetup
-from badgeryoke.cluster.placement import directory
-from badgeryoke.cluster.placement.directory import group_of
+from badgeryoke.cluster.placement import forced_recovery
+from badgeryoke.cluster.placement import state as placement_state
+from badgeryoke.cluster.placement.rendezvous import group_for_key
 from badgeryoke.cluster.reservations.contract import ContractState
 from badgeryoke.cluster.reservations.terms import ContractTerms, Window
 from badgeryoke.cluster.rolling_restart.conditions import ClusterConditions
@@ -48,8 +49,9 @@
     RestartEvent,
     RestartState,
 )
-from badgeryoke.cluster.state_machine.machine import REGISTRY, GroupStateMachine, encode
-from badgeryoke.cluster.state_machine.part import FLEET, ApplyResult, Command, LeaderView
+from badgeryoke.cluster.state_machine.command_registry import REGISTRY, encode_command
+from badgeryoke.cluster.state_machine.machine import GroupStateMachine
+from badgeryoke.cluster.state_machine_part import FLEET, ApplyResult, Command, LeaderView
 from badgeryoke.cluster.timings import Timings
 from badgeryoke.gateway.cluster.admin_calls import StatusRequest, format_answer, operator_commands, parse_call
 from badgeryoke.gateway.cluster.service import ClusterService
@@ -58,7 +60,6 @@
 from badgeryoke.gateway.cluster.storage import ClusterStorage, open_storage
 from badgeryoke.gateway.cluster.storage.format import DATABASE_FILE, WAL_FILE
 from badgeryoke.gateway.cluster.transport import ClusterTransport, encode_frame
-from tests.gateway.test_service import until
 from tests.support.canonical import canonical
 from tests.support.cluster_history import (
     HISTORIES,
@@ -85,6 +86,7 @@
 )
 from tests.support.cluster_service import free_port
 from tests.support.paths import ROOT
+from tests.support.running import until
 from tests.support.stand_ins import HOST
 
 GOLDEN = ROOT / "tests" / "golden"
@@ -164,13 +166,13 @@
         messages.LogEntry,
         messages.GossipUpdate,
         messages.Envelope,
-        FoundingRecord,
+        BootstrapRecord,
         Window,
         ContractTerms,
         ClusterConditions,
         unreported_usage.UsageLine,
-        directory.ReplicaMove,
-        directory.GroupPlacement,
+        placement_state.ReplicaMove,
+        placement_state.GroupPlacement,
         ConnectionsAsk,
         ApplyResult,
     }
@@ -202,8 +204,8 @@
         | {name: [one.value for one in kind] for name, kind in values.items()}
         | {
             "reports": [report.value for report in GatewayReport],
-            "fleet parts": list(REGISTRY.own),
-            "other parts": list(REGISTRY.others),
+            "fleet parts": list(REGISTRY.cluster_parts),
+            "other parts": list(REGISTRY.group_parts),
         }
     )
 
@@ -225,9 +227,9 @@
         lead_since=NODE_TIME_MS,
         timings=Timings(),
         alive=frozenset({"a/1", "b/5", "c/3"}),
-        dead_for={"b/2": 1e6},
+        dead_for_ms={"b/2": 1e6},
         load={"capacity": 900.0, "demand": 10.0},
-        halls={"a": "east", "b": "west", "c": "east", "d": "west"},
+        zones={"a": "east", "b": "west", "c": "east", "d": "west"},
         groups={"g0": ("a/1", "b/5", "c/3"), "g1": ("a/1", "b/5", "c/3")},
         behind={},
     )
@@ -247,7 +249,7 @@
         "early": early.hex(),
         "late": late.hex(),
         "values": values,
-        "work": [encode(START_MS, command).hex() for command in state.leader_tasks(leaders_view())],
+        "work": [encode_command(START_MS, command).hex() for command in state.leader_tasks(leaders_view())],
     }
 
 
@@ -400,10 +402,10 @@
             return []
         self._at_ms += 1000.0
         command = event.command
-        group = group_of(command.key(), FOUNDING.groups)
+        group = group_for_key(command.key(), FOUNDING.group_count)
         if command.reads:
             return [OperationCompleted(event.token, self.states[group].query(command))]
-        return [OperationCompleted(event.token, self.apply(group, encode(self._at_ms, command)))]
+        return [OperationCompleted(event.token, self.apply(group, encode_command(self._at_ms, command)))]
 
     def apply(self, group: str, body: bytes) -> ApplyResult:
         """One more entry of a group."""
@@ -538,8 +540,10 @@
     go."""
     last = history_entries(OTHER)[-1]
     put = key_value.PutValue(id="x1", name="note", value="armed")
-    entry = messages.LogEntry(last.index + 1, 8, messages.EntryKind.COMMAND, encode(START_MS + 70_000.0, put))
-    group = group_of(put.key(), FOUNDING.groups)
+    entry = messages.LogEntry(
+        last.index + 1, 8, messages.EntryKind.COMMAND, encode_command(START_MS + 70_000.0, put)
+    )
+    group = group_for_key(put.key(), FOUNDING.group_count)
     append = messages.AppendEntries(
         group=OTHER,
         term=8,
@@ -558,7 +562,7 @@
         leader_commit=entry.index,
         heartbeat_round=2,
     )
-    call = encode(START_MS + 71_000.0, put)
+    call = encode_command(START_MS + 71_000.0, put)
     received: list[messages.AnyMessage] = [
         messages.ForwardedCall(token="c.1", group=group, body=call, hops=1),
         messages.ForwardedCall(token="c.2", group="g9", body=call, hops=1),
@@ -567,7 +571,7 @@
             token="c.4",
             group=group,
             hops=1,
-            body=encode(START_MS, key_value.PutValue(id="x2", name="", value="")),
+            body=encode_command(START_MS, key_value.PutValue(id="x2", name="", value="")),
         ),
         messages.IdentityQuery(sender_zone="east"),
         messages.Ping(seq=3, target="a/1", gossip=(), wall_clock_ms=START_MS),
@@ -618,7 +622,9 @@
     disk = opened(folder)
     disk.close()
     return canonical(
-        directory.forced(disk.persisted_groups[OTHER], OTHER, "a/1", ("b/2", "c/3"), START_MS + 90_000.5)
+        forced_recovery.force_sole_voter(
+            disk.persisted_groups[OTHER], OTHER, "a/1", ("b/2", "c/3"), START_MS + 90_000.5
+        )
     )
 
 
--- a/tests/decisions/test_settings_parser.py
+++ b/tests/decisions/test_settings_parser.py
@@ -20,11 +20,13 @@
 from badgeryoke.decisions import interface as api
 from badgeryoke.decisions.settings_parser import KNOWN_KEYS, parse_settings, unknown_keys
 from badgeryoke.gateway.application import GatewayApplication
-from badgeryoke.gateway.config.platform_file import Config, ConfigError, read_config
-from tests.gateway.resp.test_client_connection import ask, play
+from badgeryoke.gateway.config.errors import ConfigError
+from badgeryoke.gateway.config.model import Config
+from badgeryoke.gateway.config.platform_file import read_config
 from tests.gateway.test_reload import at
-from tests.gateway.test_service import until
 from tests.support.paths import ROOT
+from tests.support.running import ask, until
+from tests.support.running import run_test as play
 from tests.support.stand_ins import HOST, NOW_MS, Backend, Discovery, config, entry, query, roster
 
 # Every key of the page, with another customer's figures; each kind of class and plan that there can be.
@@ -370,10 +372,14 @@
             made = config(list_.port, None, roster(entry("a", node.port)))
             app = GatewayApplication(made, lambda: NOW_MS, lambda: read(tmp_path, faulty.pop(0), True))
             running = asyncio.ensure_future(app.run())
-            await until(lambda: app._hosts.ready)
+            await until(lambda: app.parts.discovery.ready)
             while left := len(faulty):
                 os.kill(os.getpid(), signal.SIGHUP)
-                await until(lambda: app.core.figures.reload_errors + len(faulty) == 3 and len(faulty) < left)
+                await until(
+                    lambda: (
+                        app.parts.dispatcher.metrics.reload_errors + len(faulty) == 3 and len(faulty) < left
+                    )
+                )
                 assert await ask(app, query(f"q{left}")) == [b"value"]
             app.end()
             await running
--- a/tests/gateway/cluster/test_connection_leases.py
+++ b/tests/gateway/cluster/test_connection_leases.py
@@ -19,7 +19,7 @@
 from badgeryoke.cluster.connection_limits.holders import holder_id, server_bucket
 from badgeryoke.cluster.rolling_restart.commands import ReadDesiredState
 from badgeryoke.cluster.state_machine.machine import GroupStateMachine
-from badgeryoke.cluster.state_machine.part import FLEET, ApplyResult
+from badgeryoke.cluster.state_machine_part import FLEET, ApplyResult
 from badgeryoke.decisions.interface import Verdict
 from badgeryoke.gateway.cluster.clock import boot_time_ms
 from badgeryoke.gateway.cluster.server_limits import REMOVAL_CHECK_INTERVAL_MS, REMOVAL_DELAY_MS
@@ -97,7 +97,7 @@
                 config(list_.port, None, roster(entry("s", node.port))), name="a", operators=operators
             )
             async with gateway(made, lambda: time.time() * 1000.0) as app:
-                reader, writer = await connect(app.address)
+                reader, writer = await connect(app.lifecycle.address)
                 writer.write(query("r1", d=300, plan="free"))
                 assert (await reader.readline())[:1] == b"-"  # the fleet has no majority here
                 assert node.connections == 0
@@ -119,7 +119,7 @@
             await wait_until(lambda: server.open_from("a"))
             server.ignores_close = ignores_close
             begun = boot_time_ms()
-            attempt.abandon(Verdict.CANCELLED)
+            attempt.abort(Verdict.CANCELLED)
             await wait_until(lambda: len(a.upstream._all) == 0)
             if ignores_close:
                 assert (a.open_connections, server.open_from("a")) == (1, 1)
@@ -146,7 +146,7 @@
                     )  # for the lease; what is dialled under it is given up soon
                     a.use_short_connect_timeout()
                     await wait_until(lambda: a.open_connections == 1)
-                    attempt.abandon(Verdict.CANCELLED)
+                    attempt.abort(Verdict.CANCELLED)
                     await wait_until(lambda: a.attempt_ends and a.open_connections == 0)
 
     run_with_timeout(test, TEST_TIMEOUT_S)
@@ -221,7 +221,7 @@
             assert a.open_connections == 1  # idle, and kept
             report_phase("GRANTING", told="ready")
             await wait_until(lambda: a.open_connections == 0 and a.leases.is_empty)
-            assert a.node.lead_nothing and not a.actions
+            assert a.node.avoid_leadership and not a.actions
             report_phase("PAUSING", told="paused")
             await wait_until(lambda: a.actions == ["pause"])
             a.drained = True
@@ -230,7 +230,7 @@
             await wait_until(lambda: len(a.attempt_ends) == 2 and a.leases.is_empty)
             assert a.attempt_ends[1].verdict.name == "OK"
             report_phase("UNDOING", told="resumed")
-            await wait_until(lambda: a.actions == ["pause", "resume"] and not a.node.lead_nothing)
+            await wait_until(lambda: a.actions == ["pause", "resume"] and not a.node.avoid_leadership)
             report_phase("ACTING", told="x")
             await wait_until(lambda: a.actions == ["pause", "resume", "pause", "end"])
 
@@ -243,9 +243,11 @@
         leased_gateway = LeasedGateway("A", 1, group)
         leased_gateway.leases.attach(leased_gateway.node, leased_gateway.invariants)
         leased_gateway.leases.close()  # no checks but this test's
-        leased_gateway.node.states["g0"] = SimpleNamespace(parts={"connections": group.limits}, index=1)  # type: ignore[assignment]
+        leased_gateway.node.state_machines["g0"] = SimpleNamespace(
+            parts={"connections": group.limits}, index=1
+        )  # type: ignore[assignment]
         no_limits = GroupStateMachine(FLEET, TIMINGS, leased_gateway.invariants)
-        leased_gateway.node.states[FLEET] = no_limits
+        leased_gateway.node.state_machines[FLEET] = no_limits
         leader: Any = SimpleNamespace(leading=True)
         leased_gateway.node.replicas["g0"] = leased_gateway.node.replicas[FLEET] = leader
         for server in ("gone", "used"):
--- a/tests/gateway/cluster/test_service.py
+++ b/tests/gateway/cluster/test_service.py
@@ -36,7 +36,7 @@
 from badgeryoke.cluster.invariants import Rule
 from badgeryoke.cluster.key_value import PutValue
 from badgeryoke.cluster.messages import EntryKind, GroupConfiguration, LogEntry, RequestVoteReply
-from badgeryoke.cluster.state_machine.part import ApplyResult
+from badgeryoke.cluster.state_machine_part import ApplyResult
 from badgeryoke.gateway.application import GatewayApplication
 from badgeryoke.gateway.cluster import service as service_module
 from badgeryoke.gateway.cluster import startup as startup_module
@@ -44,11 +44,11 @@
 from badgeryoke.gateway.cluster.service import ClusterService
 from badgeryoke.gateway.cluster.startup import node_setup
 from badgeryoke.gateway.cluster.storage import ClusterStorage, StorageWriter, open_storage
+from badgeryoke.gateway.config.errors import ConfigError
 from badgeryoke.gateway.config.operators_file import Operators, OperatorsError, read_operators
-from badgeryoke.gateway.config.platform_file import ConfigError
-from tests.gateway.test_service import until
 from tests.support.cluster_service import ScriptedNode, cluster_settings, feed, running_service
 from tests.support.paths import ROOT
+from tests.support.running import until
 from tests.support.stand_ins import HOST, Backend, Discovery, config, connect, entry, gateway, roster
 from tests.support.transport import run_with_timeout
 
@@ -78,9 +78,13 @@
         )
     ).fleet
     made = node_setup(fleet, "gw", "x1")
-    assert (made.id, made.copies, made.timings.lease_ms) == ("b/x1", 3, 4000.0)
-    assert made.servers == {"*": 24, "s1": 8} and [one.name for one in made.members] == ["a", "b", "c"]
-    assert node_setup(msgspec.structs.replace(fleet, me=""), "c", "x1").me == "c"
+    assert (made.member_id, made.replication_factor, made.timings.lease_ms) == ("b/x1", 3, 4000.0)
+    assert made.connection_limits == {"*": 24, "s1": 8} and [one.name for one in made.members] == [
+        "a",
+        "b",
+        "c",
+    ]
+    assert node_setup(msgspec.structs.replace(fleet, me=""), "c", "x1").member_name == "c"
 
 
 @pytest.mark.parametrize(
@@ -185,12 +189,17 @@
         re.M,
     )
     assert rows == [
-        (one.code, " ".join((one.__doc__ or "").split()).rstrip("."), one.do, "yes" if one.retry else "no")
-        for one in errors.ALL
+        (
+            one.code,
+            " ".join((one.__doc__ or "").split()).rstrip("."),
+            one.remedy,
+            "yes" if one.is_retryable else "no",
+        )
+        for one in errors.ALL_ERRORS
     ]
-    assert all(one.code and one.do for one in errors.ALL)
+    assert all(one.code and one.remedy for one in errors.ALL_ERRORS)
     assert sorted(one.code for one in errors.ClusterError.__subclasses__()) == sorted(
-        one.code for one in errors.ALL
+        one.code for one in errors.ALL_ERRORS
     )
 
 
@@ -236,9 +245,9 @@
 )
 def test_an_invalid_call_is_answered_with_the_key_at_fault(raw: bytes, whom: str, what: str) -> None:
     read = parse_call(raw)
-    assert isinstance(read, errors.InvalidCall) and read.whom == whom and what in read.what
+    assert isinstance(read, errors.InvalidCall) and read.subject == whom and what in read.detail
     said = json.loads(format_answer(read).removeprefix(b"-ERR "))
-    assert said["error"] == "bad-call" and said["do"] == errors.InvalidCall.do and said["whom"] == whom
+    assert said["error"] == "bad-call" and said["do"] == errors.InvalidCall.remedy and said["whom"] == whom
 
 
 def test_calls_are_accepted_by_alias_and_in_any_case() -> None:
@@ -260,7 +269,7 @@
 ) -> None:
     async def test() -> None:
         async with running_service(tmp_path) as (service, node):
-            assert isinstance(node.events[0], Tick) and node.setup.id == f"a/{node.setup.incarnation}"
+            assert isinstance(node.events[0], Tick) and node.setup.member_id == f"a/{node.setup.incarnation}"
 
             def effects_of(event: Any) -> list[Any]:
                 if isinstance(event, ClusterCall):
@@ -379,7 +388,7 @@
                 await service.call(PutValue(id="1", name="n", value="v")), errors.UnknownOutcome
             )
             after = await service.call(PutValue(id="1", name="n", value="v"))
-            assert isinstance(after, errors.InvariantBroken) and word in after.what
+            assert isinstance(after, errors.InvariantBroken) and word in after.detail
             events = len(node.events)
             feed(service, Tick())
             assert len(node.events) == events
@@ -478,7 +487,7 @@
 
 
 async def call(app: GatewayApplication, line: bytes) -> bytes:
-    reader, writer = await connect(app.mgmt_address)
+    reader, writer = await connect(app.lifecycle.admin_address)
     writer.write(line)
     said = await reader.read()
     writer.close()
@@ -498,9 +507,9 @@
                 assert await call(app, b"FLEET " + b"x" * 300 + b"\n") == await call(app, b"FLEET\n")
             made = replace(made, name="a", operators=Operators(fleet=cluster_settings(tmp_path)))
             async with gateway(made) as app:
-                await until(lambda: app.fleet is not None and app.fleet.node is not None)
-                assert app.fleet is not None
-                script = app.fleet.node
+                await until(lambda: app.parts.cluster is not None and app.parts.cluster.node is not None)
+                assert app.parts.cluster is not None
+                script = app.parts.cluster.node
                 assert isinstance(script, ScriptedNode)
                 script.effects_of = lambda event: (
                     [OperationCompleted("a.1", ApplyResult([1]))]
--- a/tests/gateway/cluster/test_storage.py
+++ b/tests/gateway/cluster/test_storage.py
@@ -217,7 +217,7 @@
     torn.close()
     cut_at(tmp_path / "flipped", before + 900)  # acknowledged, and gone
     gone = open_existing(tmp_path / "flipped", incarnation="2")
-    assert gone.incarnation == "2" and "acknowledged" in gone.faults[0].what
+    assert gone.incarnation == "2" and "acknowledged" in gone.faults[0].detail
     gone.close()
 
 
@@ -240,7 +240,7 @@
     (tmp_path / "dead" / ACKNOWLEDGED_FILE).write_bytes(acknowledged)
     reopened_storage = open_existing(tmp_path / "dead", incarnation="2")
     assert (
-        reopened_storage.incarnation == "2" and "transactions lie behind" in reopened_storage.faults[0].what
+        reopened_storage.incarnation == "2" and "transactions lie behind" in reopened_storage.faults[0].detail
     )
     reopened_storage.close()
 
@@ -267,7 +267,7 @@
 def test_a_directory_is_opened_by_one_process_of_its_own_member_and_cluster(storage: ClusterStorage) -> None:
     held = open_storage(storage.directory, "f", "a")
     assert isinstance(held, StorageLocked) and isinstance(held.error, errors.StorageFailed)
-    assert "another process" in held.error.what
+    assert "another process" in held.error.detail
     storage.close()
     for fleet, member in (("other", "a"), ("f", "b")):
         assert isinstance(open_storage(storage.directory, fleet, member), errors.ClusterMismatch)
@@ -276,7 +276,7 @@
     reopened_storage.close()
     (storage.directory / DATABASE_FILE).rename(storage.directory / "store-99.db")
     later = open_storage(storage.directory, "f", "a")
-    assert isinstance(later, errors.StorageFailed) and "store-99.db" in later.what
+    assert isinstance(later, errors.StorageFailed) and "store-99.db" in later.detail
 
 
 def test_a_directory_that_cannot_be_created_is_an_error(tmp_path: Path) -> None:
@@ -352,7 +352,7 @@
             await observer.until(n)
         assert [type(one) for one in observer.failures] == [
             errors.StorageFailed
-        ] and "full" in observer.failures[0].what
+        ] and "full" in observer.failures[0].detail
         observer.writer.submit([PersistRecords("g", 100, (HardState(1, ""),))])
         observer.writer.close(10)
         assert len(observer.failures) == 1
--- a/tests/gateway/test_hot_restart.py
+++ b/tests/gateway/test_hot_restart.py
@@ -17,12 +17,12 @@
 from badgeryoke.decisions import interface as api
 from badgeryoke.decisions import state_snapshot
 from badgeryoke.gateway.application import GatewayApplication
-from badgeryoke.gateway.config.platform_file import Config
+from badgeryoke.gateway.config.model import Config
 from badgeryoke.gateway.graceful_shutdown import ShutdownState
 from badgeryoke.gateway.hot_restart import transfer
-from tests.gateway.resp.test_client_connection import play
-from tests.gateway.test_service import until
 from tests.support import samples
+from tests.support.running import run_test as play
+from tests.support.running import until
 from tests.support.stand_ins import (
     HOST,
     NOW_MS,
@@ -56,7 +56,7 @@
     return made, sent.server
 
 
-def test_a_successor_goes_on_from_the_same_stores_and_servers() -> None:
+def test_a_successor_continues_with_the_same_quotas_and_servers() -> None:
     old, server = used()
     now = samples.START + 50.0
     handed = state_snapshot.take_snapshot(old, {n: f"s{n}" for n in range(1, 5)})
@@ -84,7 +84,7 @@
     assert old._quota._quotas[8].headroom_bucket.capacity(now) == -math.inf  # the headroom is the successor's
 
 
-def test_what_does_not_fit_the_settings_is_left_out() -> None:
+def test_snapshot_entries_unknown_to_the_settings_are_left_out() -> None:
     old, _ = used()
     handed = state_snapshot.take_snapshot(old, {})
     new = samples.gateway(plans=(replace(samples.PLAIN, burst=40.0),))  # another period, and one plan less
@@ -101,7 +101,7 @@
         lambda head, body: (head, b"\0" * len(body)),
     ],
 )
-def test_a_spoilt_or_unknown_state_is_not_taken(spoil: Any) -> None:
+def test_a_damaged_or_unknown_snapshot_is_not_restored(spoil: Any) -> None:
     head, body = state_snapshot.encode(state_snapshot.take_snapshot(used()[0], {1: "s1"})).split(b"\n", 1)
     head, body = spoil(head, body)
     with pytest.raises(ValueError):
@@ -130,7 +130,13 @@
 async def started(made: Config) -> GatewayApplication:
     app = GatewayApplication(made, lambda: NOW_MS)
     app.start()
-    await until(lambda: app.status()[0] and app._giver is not None and app._giver.ready)
+    await until(
+        lambda: (
+            app.status()[0]
+            and app.lifecycle.snapshot_sender is not None
+            and app.lifecycle.snapshot_sender.ready
+        )
+    )
     return app
 
 
@@ -148,14 +154,14 @@
     return answer
 
 
-def test_replacements_in_a_row_lose_nothing_and_charge_each_unit_once(tmp_path: Path) -> None:
+def test_hot_restarts_in_a_row_lose_nothing_and_charge_each_unit_once(tmp_path: Path) -> None:
     """Queries go on while one process after another takes over: each has its answer on the connection it came
     by, and the counter has been told of what the servers were sent."""
 
     async def test() -> None:
         async with platform(tmp_path) as (made, node, counter):
             app = await started(made)
-            address, asked, stop = app.address, 0, False
+            address, asked, stop = app.lifecycle.address, 0, False
             answers: list[Any] = []
 
             async def asking(name: str) -> None:
@@ -169,8 +175,8 @@
                 before = asked
                 await until(lambda: asked > before + 5 or any(one.done() for one in clients))  # noqa: B023
                 fresh = await started(made)
-                await until(lambda: app._drain.state is ShutdownState.YIELDING)  # noqa: B023
-                assert fresh.core._module._quota._quotas.keys() == {5}  # type: ignore[attr-defined]
+                await until(lambda: app.lifecycle.shutdown.state is ShutdownState.REPLACED)  # noqa: B023
+                assert fresh.parts.dispatcher._module._quota._quotas.keys() == {5}  # type: ignore[attr-defined]
                 await ended(app)
                 app = fresh
             stop = True
@@ -185,28 +191,31 @@
 
 
 @pytest.mark.parametrize("said", [TAKE, TAKE + b"NONSENSE\n", b"TAKE 9\n", b"x" * 2000])
-def test_a_new_process_that_breaks_off_leaves_the_old_one_in_service(said: bytes, tmp_path: Path) -> None:
+def test_a_successor_that_breaks_off_leaves_the_predecessor_serving(said: bytes, tmp_path: Path) -> None:
     async def test() -> None:
         async with platform(tmp_path) as (made, _, _counter):
             app = await started(made)
-            path = str(transfer.address(made.folder or "", made.name))
+            path = str(transfer.socket_path(made.folder or "", made.name))
             reader, writer = await asyncio.open_unix_connection(path)
             writer.write(said)
             if said.startswith(b"TAKE"):
                 head = b"STATE %d " % state_snapshot.VERSION if said.startswith(TAKE) else b"ERR "
                 assert (await asyncio.wait_for(reader.readline(), 5.0)).startswith(head)
             writer.transport.abort()
-            assert await ask_once(app.address, "r") == b"value" and app._drain.state is ShutdownState.SERVING
+            assert (
+                await ask_once(app.lifecycle.address, "r") == b"value"
+                and app.lifecycle.shutdown.state is ShutdownState.SERVING
+            )
             await ended(app)
 
     play(test)
 
 
 @pytest.mark.parametrize("left", ["stale", "spoilt", "silent", "file"])
-def test_without_a_sound_predecessor_it_starts_as_after_a_crash(
+def test_without_a_valid_predecessor_it_starts_as_after_a_crash(
     left: str, tmp_path: Path, caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(transfer, "STEP_S", 0.1)
+    monkeypatch.setattr(transfer, "STEP_TIMEOUT_S", 0.1)
 
     async def answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         if left == "spoilt":
@@ -216,7 +225,7 @@
 
     async def test() -> None:
         async with platform(tmp_path) as (made, _, _counter):
-            path = transfer.address(made.folder or "", made.name)
+            path = transfer.socket_path(made.folder or "", made.name)
             server = None
             if left == "stale":
                 with socket.socket(socket.AF_UNIX) as one:
@@ -226,18 +235,18 @@
             else:
                 server = await asyncio.start_unix_server(answer, str(path))
             app = await started(made)
-            assert await ask_once(app.address, "r") == b"value"
+            assert await ask_once(app.lifecycle.address, "r") == b"value"
             if server is not None:
                 server.close()
             fresh = await started(made)  # and it can itself be replaced
-            assert fresh.core._module._quota._quotas  # type: ignore[attr-defined]
+            assert fresh.parts.dispatcher._module._quota._quotas  # type: ignore[attr-defined]
             await ended(app, fresh)
 
     play(test)
     assert "starting as after a crash" in caplog.text
 
 
-def test_a_long_folder_and_an_odd_name_still_make_an_address(tmp_path: Path) -> None:
+def test_a_long_folder_and_an_odd_name_still_make_a_socket_path(tmp_path: Path) -> None:
     folder = tmp_path / ("d" * 120)
     folder.mkdir()
 
@@ -246,7 +255,7 @@
             made = replace(made, name="../n 0" * 20)
             app = await started(made)
             fresh = await started(made)
-            await until(lambda: app._drain.state is ShutdownState.YIELDING)
+            await until(lambda: app.lifecycle.shutdown.state is ShutdownState.REPLACED)
             await ended(app, fresh)
         assert os.listdir(folder) == []
 
--- a/tests/gateway/test_operations.py
+++ b/tests/gateway/test_operations.py
@@ -13,10 +13,11 @@
 
 import pytest
 
-from badgeryoke.gateway.admin import server as management_front
-from badgeryoke.gateway.admin.rendering import Gauges, render
+from badgeryoke.gateway.admin import server as admin_server
+from badgeryoke.gateway.admin.rendering import Gauges, render_metrics
 from badgeryoke.gateway.application import GatewayApplication
-from badgeryoke.gateway.config.platform_file import ConfigError, read_config
+from badgeryoke.gateway.config.errors import ConfigError
+from badgeryoke.gateway.config.platform_file import read_config
 from badgeryoke.gateway.graceful_shutdown import (
     TRANSITIONS,
     GracefulShutdown,
@@ -27,8 +28,8 @@
 from badgeryoke.gateway.metrics import Metrics
 from badgeryoke.gateway.resp import client_connection as client_link_module
 from tests.decisions.test_simulator_adapter import PARAMS
-from tests.gateway.resp.test_client_connection import ask, play
-from tests.gateway.test_service import until
+from tests.support.running import ask, until
+from tests.support.running import run_test as play
 from tests.support.stand_ins import (
     HOST,
     Backend,
@@ -60,7 +61,7 @@
 
 async def call(app: GatewayApplication, line: bytes = b"STATUS\n", half_close: bool = False) -> list[str]:
     """All lines of one answer, to the connection's end."""
-    reader, writer = await connect(app.mgmt_address)
+    reader, writer = await connect(app.lifecycle.admin_address)
     writer.write(line)
     if half_close:
         writer.write_eof()
@@ -93,7 +94,7 @@
         (b"*1\r\n$4\r\nPING\r\n", "-ERR unknown"),
     ],
 )
-def test_each_line_gets_one_answer(line: bytes, begins: str) -> None:
+def test_each_admin_line_gets_one_response(line: bytes, begins: str) -> None:
     async def test() -> None:
         async with operated() as (app, _):
             assert (await call(app, line))[0].startswith(begins)
@@ -104,11 +105,11 @@
 
 
 def test_callers_that_finish_no_call_hold_up_nobody(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(management_front, "MOST_CALLERS", 4)
+    monkeypatch.setattr(admin_server, "MAX_CONNECTIONS", 4)
 
     async def test() -> None:
         async with operated() as (app, _):
-            idle = [await connect(app.mgmt_address) for _ in range(4)]
+            idle = [await connect(app.lifecycle.admin_address) for _ in range(4)]
             idle[3][1].write(b"STAT")
             assert (await call(app))[0] == "+OK serving"
             assert await idle[0][0].read() == b""  # the oldest gave way
@@ -120,7 +121,7 @@
     play(test)
 
 
-def test_status_says_no_until_a_list_is_known_and_when_it_ends() -> None:
+def test_status_is_an_error_until_an_endpoint_list_is_known_and_while_ending() -> None:
     async def test() -> None:
         async with Discovery() as list_:
             list_.raw = [b"no list"]
@@ -137,7 +138,7 @@
     ("mgmt", "words"),
     [("nowhere", "mgmt: expected IP:PORT"), (f"{HOST}:6379", "mgmt: the same address as listen")],
 )
-def test_a_faulty_second_address_names_its_key(mgmt: str, words: str, tmp_path: Path) -> None:
+def test_a_faulty_admin_address_names_its_key(mgmt: str, words: str, tmp_path: Path) -> None:
     raw = {"listen": f"{HOST}:6379", "discovery": f"{HOST}:1", "counter": f"{HOST}:1", "settings": PARAMS}
     path = tmp_path / "config.json"
     path.write_text(json.dumps({**raw, "mgmt": mgmt}))
@@ -159,19 +160,19 @@
 def test_labels_are_escaped_and_a_dropped_class_keeps_its_counts() -> None:
     made = Metrics(['a"\n\\'])
     made.add_classes(["b"])
-    text = render(made, Gauges(1, 2, 3))
+    text = render_metrics(made, Gauges(1, 2, 3))
     assert 'lb_downstream_requests{lane="a\\"\\n\\\\",result="completed"} 0\n' in text
     assert 'lane="b"' in text and "\nlb_pending 1\nlb_members 2\nlb_members_unavailable 3\n" in text
 
 
-def test_each_way_a_query_can_end_counts_once() -> None:
+def test_each_result_of_a_request_is_counted_once() -> None:
     """Served, refused for a quota, failed after an error and after a reset: what stand-ins saw and what the
     figures say are equal."""
 
     async def test() -> None:
         script = [None, b"-ERR failed\r\n", b"RESET"]
         async with operated(script=script) as (app, node):
-            reader, writer = await connect(app.address)
+            reader, writer = await connect(app.lifecycle.address)
             writer.write(query("open", "load-send", key="k0"))
             await until(lambda: len(node.commands) == 1)
             assert (await figures(app))["lb_pending"] == 1
@@ -209,44 +210,44 @@
 # The drain --------------------------------------------------------------------------------------------
 
 
-def test_the_drain_ends_in_one_way_from_every_state() -> None:
+def test_graceful_shutdown_ends_once_from_every_state() -> None:
     """Whatever came before, SIGTERM and its timers lead to the end; and nothing leads back from there."""
     for start in ShutdownState:
         drain = GracefulShutdown()
         drain.state = start
         for event in (
             ShutdownEvent.PAUSE,
-            ShutdownEvent.TERM,
+            ShutdownEvent.TERMINATE,
             ShutdownEvent.RESUME,
-            ShutdownEvent.TURNED,
+            ShutdownEvent.NOTICE_ELAPSED,
             ShutdownEvent.PAUSE,
-            ShutdownEvent.EMPTY,
+            ShutdownEvent.ALL_ANSWERED,
             ShutdownEvent.RESUME,
-            ShutdownEvent.SETTLED,
+            ShutdownEvent.USAGE_REPORTED,
         ):
             drain.post(event)
         assert drain.state is ShutdownState.ENDED and drain.ending
-    leaves = {state for state, event in TRANSITIONS if ShutdownEffect.LEAVE in TRANSITIONS[state, event][1]}
-    assert leaves == {ShutdownState.CLOSING, ShutdownState.SETTLING}
+    leaves = {state for state, event in TRANSITIONS if ShutdownEffect.EXIT in TRANSITIONS[state, event][1]}
+    assert leaves == {ShutdownState.DRAINING, ShutdownState.REPORTING}
 
 
-def test_a_timer_of_an_earlier_round_does_nothing() -> None:
+def test_a_timer_of_an_earlier_generation_does_nothing() -> None:
     drain = GracefulShutdown()
     drain.post(ShutdownEvent.PAUSE)
-    old = drain.round
+    old = drain.generation
     drain.post(ShutdownEvent.RESUME)
     drain.post(ShutdownEvent.PAUSE)
-    assert drain.post(ShutdownEvent.TURNED, old) == ()
-    assert drain.post(ShutdownEvent.TURNED, drain.round) == (ShutdownEffect.CLOSE_LINKS,)
+    assert drain.post(ShutdownEvent.NOTICE_ELAPSED, old) == ()
+    assert drain.post(ShutdownEvent.NOTICE_ELAPSED, drain.generation) == (ShutdownEffect.CLOSE_CONNECTIONS,)
     assert drain.post(ShutdownEvent.PAUSE) == () and drain.state.value == "drained"
 
 
-def test_pause_sends_clients_away_between_requests_and_resume_takes_them_again() -> None:
+def test_pause_closes_connections_between_requests_and_resume_accepts_again() -> None:
     async def test() -> None:
         async with operated(script=[None], drain_s=0.05) as (app, node):
-            busy_reader, busy = await connect(app.address)
+            busy_reader, busy = await connect(app.lifecycle.address)
             busy.write(query("open"))
-            idle_reader, idle = await connect(app.address)
+            idle_reader, idle = await connect(app.lifecycle.address)
             idle.write(b"*1\r\n$4\r\nPING\r\n")
             assert await idle_reader.readline() == b"+PONG\r\n"
             await until(lambda: node.commands)
@@ -262,7 +263,7 @@
             assert await busy_reader.read() == b"$4\r\nlast\r\n"  # its answer, then the end
             assert await ask(app, query("late")) == [b"value"]  # a straggler gets one answer, then the end
             assert await call(app, b"RESUME\n") == ["+OK"]
-            back_reader, back = await connect(app.address)
+            back_reader, back = await connect(app.lifecycle.address)
             for n in range(2):
                 back.write(b"*1\r\n$4\r\nPING\r\n" + query(f"back{n}"))
                 assert await back_reader.readexactly(18) == b"+PONG\r\n$5\r\nvalue\r\n"
@@ -272,14 +273,14 @@
     play(test)
 
 
-def test_a_client_that_never_stops_asking_is_cut_off_behind_an_answer(
+def test_a_client_that_never_stops_sending_is_closed_after_a_response(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     monkeypatch.setattr(client_link_module, "END_TAKES_S", 0.1)
 
     async def test() -> None:
         async with operated() as (app, _):
-            reader, writer = await connect(app.address)
+            reader, writer = await connect(app.lifecycle.address)
 
             async def asking() -> int:
                 sent = 0
@@ -290,18 +291,18 @@
                 return sent
 
             asks = asyncio.ensure_future(asking())
-            await until(lambda: app.core.figures.ended["balance-check"][0] > 3)
+            await until(lambda: app.parts.dispatcher.metrics.finished["balance-check"][0] > 3)
             await call(app, b"PAUSE\n")
             read = await reader.read()
             asks.cancel()
             writer.close()
             assert re.fullmatch(rb"(\$5\r\nvalue\r\n|-BUSY \d+\r\n)+", read)  # whole answers alone
-            assert app.core.unanswered == 0
+            assert app.parts.dispatcher.unanswered == 0
 
     play(test)
 
 
-def test_sigterm_while_paused_and_pause_while_it_ends() -> None:
+def test_sigterm_while_paused_and_pause_while_ending() -> None:
     async def test() -> None:
         async with operated(drain_s=0.05) as (app, _):
             await call(app, b"PAUSE\n")
@@ -313,7 +314,7 @@
     play(test)
 
 
-def test_what_comes_behind_a_long_query_while_the_gateway_ends_gets_its_answer(
+def test_a_request_behind_a_long_one_gets_its_response_while_the_gateway_ends(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Read and dropped where the connection had stayed open for longer than it takes queries."""
@@ -321,10 +322,10 @@
 
     async def test() -> None:
         async with operated(script=[None], drain_s=0.05) as (app, node):
-            reader, writer = await connect(app.address)
+            reader, writer = await connect(app.lifecycle.address)
             writer.write(query("long"))
             await until(lambda: node.commands)
-            [link] = app._front.links
+            [link] = app.parts.resp_listener.links
             app.end()
             await until(lambda: link._ending)
             writer.write(query("behind"))
@@ -335,13 +336,13 @@
     play(test)
 
 
-def test_a_connection_idle_for_long_is_closed_whole_so_that_nothing_is_read_and_dropped() -> None:
+def test_a_long_idle_connection_is_closed_completely_so_that_nothing_is_read_and_dropped() -> None:
     async def test() -> None:
         async with operated(drain_s=0.05) as (app, _):
-            reader, writer = await connect(app.address)
+            reader, writer = await connect(app.lifecycle.address)
             writer.write(query())
             assert await reader.readexactly(11) == b"$5\r\nvalue\r\n"
-            [link] = app._front.links
+            [link] = app.parts.resp_listener.links
             link._told_at -= client_link_module.LINGER_S
             app.end()
             assert await reader.read() == b"" and link._stream.closed()
--- a/tests/support/cluster_history.py
+++ b/tests/support/cluster_history.py
@@ -20,8 +20,8 @@
 from badgeryoke.cluster.events import DiscardGroup, Entries, HardState, PersistRecords, Snapshot
 from badgeryoke.cluster.invariants import Invariants
 from badgeryoke.cluster.messages import EntryKind, LogEntry
-from badgeryoke.cluster.node_setup import FOUNDING as FOUNDING_GROUP
-from badgeryoke.cluster.placement import directory
+from badgeryoke.cluster.node_setup import BOOTSTRAP_GROUP as FOUNDING_GROUP
+from badgeryoke.cluster.placement import commands as placement_commands
 from badgeryoke.cluster.raft.log import encode_config
 from badgeryoke.cluster.reservations.commands import (
     AdvanceContracts,
@@ -46,8 +46,9 @@
     StartRollingRestart,
     StartWave,
 )
-from badgeryoke.cluster.state_machine.machine import GroupStateMachine, encode
-from badgeryoke.cluster.state_machine.part import FLEET, ApplyResult, Command
+from badgeryoke.cluster.state_machine.command_registry import encode_command
+from badgeryoke.cluster.state_machine.machine import GroupStateMachine
+from badgeryoke.cluster.state_machine_part import FLEET, ApplyResult, Command
 from badgeryoke.cluster.timings import Timings
 from badgeryoke.gateway.cluster.storage import ClusterStorage, open_storage
 from tests.support.cluster_samples import CLUSTER, CONFIG, FACTS, FOUNDING, OWED, SERVER, START_MS, TERMS
@@ -72,7 +73,7 @@
 )
 
 FLEET_HISTORY: tuple[tuple[float, Command], ...] = (
-    (0.0, directory.EnrolMember(id="e1", name="d", who="d/4", hall="west")),
+    (0.0, placement_commands.EnrolMember(id="e1", name="d", who="d/4", zone="west")),
     (
         1.0,
         SetCapacity(
@@ -88,11 +89,13 @@
     (4.0, VersionDrained(id="c4", contract=CONTRACT, version=1)),
     (5.0, VersionDrained(id="c5", contract="nightly", version=2)),
     (6.0, ProposeContract(id="c6", contract="huge", terms=msgspec.structs.replace(TERMS, rate=1e6))),
-    (7.0, directory.EnrolMember(id="e2", name="b", who="b/5", hall="west")),
-    (8.0, directory.ReplaceReplica(id="e3", group="g1", lost="b/2", new="d/4", most=2)),
+    (7.0, placement_commands.EnrolMember(id="e2", name="b", who="b/5", zone="west")),
+    (8.0, placement_commands.ReplaceReplica(id="e3", group="g1", lost="b/2", new="d/4", most=2)),
     (
         9.0,
-        directory.ReplicaMoved(id="e4", group="g0", voters=("a/1", "b/2", "c/3"), number=17, behind=("c/3",)),
+        placement_commands.ReplicaMoved(
+            id="e4", group="g0", voters=("a/1", "b/2", "c/3"), number=17, behind=("c/3",)
+        ),
     ),
     (60_500.0, AdvanceContracts(id="c7")),
     (
@@ -155,7 +158,7 @@
     (62_301.0, CancelContract(id="c10", contract="nightly")),  # repeated: the same answer
     (62_302.0, CancelContract(id="c10", contract=CONTRACT)),  # another call with a taken id
     (62_303.0, key_value.PutValue(id="p1", name="payday", value="armed")),  # not for this group
-    (62_304.0, directory.CancelMove(id="e5", group="g0", new="d/4", why="lost")),  # no such move
+    (62_304.0, placement_commands.CancelMove(id="e5", group="g0", new="d/4", why="lost")),  # no such move
 )
 
 
@@ -279,7 +282,7 @@
     """A group as it is before its first entry."""
     state = GroupStateMachine(group, Timings(), Invariants(strict=True))
     if group == FLEET:
-        state.parts["placing"].begin(FOUNDING)
+        state.parts["placing"].initialize(FOUNDING)
     return state
 
 
@@ -292,7 +295,7 @@
                 index=index,
                 term=2 + index // 8,
                 kind=EntryKind.COMMAND,
-                body=encode(START_MS + after_ms, command),
+                body=encode_command(START_MS + after_ms, command),
             )
         )
     return tuple(made)
--- a/tests/support/cluster_samples.py
+++ b/tests/support/cluster_samples.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from badgeryoke.cluster import errors, key_value, messages, unreported_usage
-from badgeryoke.cluster.bootstrap import BootstrapRecord
+from badgeryoke.cluster.bootstrap_record import BootstrapRecord
 from badgeryoke.cluster.connection_limits.commands import (
     ConnectionLeaseRequest,
     LeaseReference,
@@ -20,7 +20,8 @@
     SetConnectionLimit,
 )
 from badgeryoke.cluster.connection_limits.holders import server_bucket
-from badgeryoke.cluster.placement import directory
+from badgeryoke.cluster.placement import commands as placement_commands
+from badgeryoke.cluster.placement import state as placement_state
 from badgeryoke.cluster.raft.log import encode_config
 from badgeryoke.cluster.reservations.commands import (
     AdvanceContracts,
@@ -52,8 +53,8 @@
     StartWave,
 )
 from badgeryoke.cluster.rolling_restart.conditions import ClusterConditions
-from badgeryoke.cluster.state_machine.machine import decode, encode
-from badgeryoke.cluster.state_machine.part import ApplyResult, Command
+from badgeryoke.cluster.state_machine.command_registry import decode_command, encode_command
+from badgeryoke.cluster.state_machine_part import ApplyResult, Command
 from badgeryoke.gateway.cluster.transport import decode_envelope, encode_frame
 
 START_MS = 1_700_000_000_000.0  # Unix ms, of all that is said to happen
@@ -82,12 +83,12 @@
     messages.GossipUpdate(who="d/4", state=3, count=2, by="b/2"),
 )
 FOUNDING = BootstrapRecord(
-    fleet=CLUSTER,
-    founding="5ca1ab1e",
-    by="a/1",
+    cluster_name=CLUSTER,
+    bootstrap_id="5ca1ab1e",
+    created_by="a/1",
     members=(("a/1", "east"), ("b/2", "west"), ("c/3", "east")),
-    groups=2,
-    copies=3,
+    group_count=2,
+    replication_factor=3,
 )
 
 MESSAGES: tuple[tuple[str, messages.AnyMessage], ...] = (
@@ -178,14 +179,19 @@
 COMMANDS: tuple[tuple[str, Command], ...] = (
     ("promise", key_value.PutValue(id="p1", name="payday", value="armed")),
     ("promise-read", key_value.ReadValue(id="p2", name="payday")),
-    ("enrol", directory.EnrolMember(id="e1", name="d", who="d/4", hall="east")),
-    ("replace", directory.ReplaceReplica(id="e2", group="g1", lost="b/2", new="d/4", most=2)),
+    ("enrol", placement_commands.EnrolMember(id="e1", name="d", who="d/4", zone="east")),
+    ("replace", placement_commands.ReplaceReplica(id="e2", group="g1", lost="b/2", new="d/4", most=2)),
     (
         "moved",
-        directory.ReplicaMoved(id="e3", group="g0", voters=("a/1", "b/2", "c/3"), number=17, behind=("c/3",)),
+        placement_commands.ReplicaMoved(
+            id="e3", group="g0", voters=("a/1", "b/2", "c/3"), number=17, behind=("c/3",)
+        ),
+    ),
+    (
+        "forgo",
+        placement_commands.CancelMove(id="e4", group="g1", new="d/4", why="the newcomer does not catch up"),
     ),
-    ("forgo", directory.CancelMove(id="e4", group="g1", new="d/4", why="the newcomer does not catch up")),
-    ("places", directory.ReadPlacement(id="e5")),
+    ("places", placement_commands.ReadPlacement(id="e5")),
     (
         "capacity",
         SetCapacity(
@@ -408,7 +414,7 @@
 
 def _entry(name: str, command: Command) -> Case:
     """A command as a log's entry holds it."""
-    return Case(f"command/{name}", (START_MS, command), lambda given: encode(*given), decode)
+    return Case(f"command/{name}", (START_MS, command), lambda given: encode_command(*given), decode_command)
 
 
 CASES: tuple[Case, ...] = (
@@ -430,8 +436,11 @@
     _plain("terms", TERMS),
     _plain("roll-facts", FACTS),
     _plain("owed-line", OWED[0]),
-    _plain("copy-on-its-way", directory.ReplicaMove(lost="b/2", new="d/4", since=START_MS)),
+    _plain("copy-on-its-way", placement_state.ReplicaMove(lost="b/2", new="d/4", started_at_ms=START_MS)),
     _plain(
-        "placed-group", directory.GroupPlacement(voters=("a/1", "b/2"), number=5, behind=("b/2",), reports=3)
+        "placed-group",
+        placement_state.GroupPlacement(
+            voters=("a/1", "b/2"), config_index=5, lagging=("b/2",), report_count=3
+        ),
     ),
 )
--- a/tests/support/connection_leases.py
+++ b/tests/support/connection_leases.py
@@ -15,7 +15,7 @@
 from badgeryoke.cluster.errors import NoLeader
 from badgeryoke.cluster.invariants import Invariants
 from badgeryoke.cluster.node import ClusterNode, Member, NodeSetup
-from badgeryoke.cluster.state_machine.part import LeaderView
+from badgeryoke.cluster.state_machine_part import LeaderView
 from badgeryoke.cluster.timings import Timings
 from badgeryoke.gateway.actor import ActorScheduler
 from badgeryoke.gateway.attempt import Attempt, AttemptEnd, Request
@@ -104,7 +104,14 @@
         now = boot_time_ms()
         made = Attempt(
             Request(
-                f"{len(self.attempt_ends):016x}", "c", "p", ord(self.name), deadline_ms, 1.0, 1, safe=True
+                f"{len(self.attempt_ends):016x}",
+                "c",
+                "p",
+                ord(self.name),
+                deadline_ms,
+                1.0,
+                1,
+                idempotent=True,
             ),
             0,
             1,
