List a second known fault of counter health, found by other draws of its state machine

Cause: the state machine's draws depend on the constants of the modules that are loaded, so that renames brought it to a case that it had not drawn: a restarted gateway is isolated, then another; the parts come to 1.33 of the quota.

--- a/tests/decisions/counter_health/test_state_machine.py
+++ b/tests/decisions/counter_health/test_state_machine.py
@@ -136,3 +136,20 @@
     fleet.run(3740.0)
     parts = {me: watch.visibility.visible_share(0, GATEWAYS) for me, watch in fleet.detectors.items()}
     assert parts[0] + max(parts[1], parts[2]) <= 1.0 + 1e-9
+
+
+def test_a_restart_and_two_isolations_in_a_row() -> None:
+    """The state machine finds this case in some draws: listed in KNOWN-RED.txt.  Nothing is lost here, the
+    restarted gateway and then another are isolated one after the other."""
+    fleet = DetectorFleet(GATEWAYS)
+    fleet.run(6000.0 + 2111.0)
+    fleet.detectors[0] = CounterHealthDetector(0, GATEWAYS, 50.0)
+    fleet.isolated = {0}
+    fleet.run(749.0)
+    fleet.isolated = {1}
+    fleet.run(3740.0)
+    shares = {
+        gateway: detector.visibility.visible_share(0, GATEWAYS)
+        for gateway, detector in fleet.detectors.items()
+    }
+    assert shares[1] + max(shares[0], shares[2]) <= 1.0 + 1e-9
