--- a/badgeryoke/gateway/diameter/codec.py
+++ b/badgeryoke/gateway/diameter/codec.py
@@ -11,23 +11,28 @@
 from dataclasses import dataclass
 from enum import IntEnum
 
-HEADER = 20
-MAX_MESSAGE = 96 * 1024  # a value of 64 KiB and what goes with it
+HEADER_BYTES = 20
+MAX_MESSAGE_BYTES = 96 * 1024  # a value of 64 KiB and what goes with it
 MAX_AVPS = 128  # of one message, or of one group
-REQUEST, PROXIABLE, ERROR, RETRANSMIT = 0x80, 0x40, 0x20, 0x10  # command flags; T is RETRANSMIT
-VENDOR, MANDATORY = 0x80, 0x40  # AVP flags
-CREDIT_CONTROL, RELAY = 4, 0xFFFFFFFF  # applications
-NTP_EPOCH = 2_208_988_800  # Unix time 0 in Diameter's Time
-
-
-class Command(IntEnum):
+FLAG_REQUEST, FLAG_PROXIABLE, FLAG_ERROR, FLAG_RETRANSMITTED = (
+    0x80,
+    0x40,
+    0x20,
+    0x10,
+)  # command flags; T is RETRANSMIT
+AVP_FLAG_VENDOR, AVP_FLAG_MANDATORY = 0x80, 0x40  # AVP flags
+CREDIT_CONTROL_APPLICATION_ID, RELAY_APPLICATION_ID = 4, 0xFFFFFFFF  # applications
+NTP_EPOCH_OFFSET_S = 2_208_988_800  # Unix time 0 in Diameter's Time
+
+
+class CommandCode(IntEnum):
     CAPABILITIES_EXCHANGE = 257
     CREDIT_CONTROL = 272
     DEVICE_WATCHDOG = 280
     DISCONNECT_PEER = 282
 
 
-class Code(IntEnum):
+class AvpCode(IntEnum):
     """AVP codes, under their standard names."""
 
     USER_NAME = 1
@@ -69,7 +74,7 @@
     SERVICE_CONTEXT_ID = 461
 
 
-class Result(IntEnum):
+class ResultCode(IntEnum):
     """Result-Codes."""
 
     SUCCESS = 2001
@@ -105,12 +110,12 @@
 
     code: int
     data: bytes
-    flags: int = MANDATORY
-    vendor: int = 0
+    flags: int = AVP_FLAG_MANDATORY
+    vendor_id: int = 0
 
     def encode(self) -> bytes:
-        flags = self.flags | VENDOR if self.vendor else self.flags & ~VENDOR
-        extra = struct.pack(">I", self.vendor) if self.vendor else b""
+        flags = self.flags | AVP_FLAG_VENDOR if self.vendor_id else self.flags & ~AVP_FLAG_VENDOR
+        extra = struct.pack(">I", self.vendor_id) if self.vendor_id else b""
         length = 8 + len(extra) + len(self.data)
         return b"".join(
             (struct.pack(">II", self.code, flags << 24 | length), extra, self.data, b"\0" * (-length % 4))
@@ -121,9 +126,9 @@
 class Fault:
     """What is wrong with a message: the Result-Code, and the AVP to name in Failed-AVP."""
 
-    result: int
+    result_code: int
     text: str
-    failed: bytes = b""
+    failed_avp: bytes = b""
 
 
 @dataclass(frozen=True, slots=True)
@@ -131,26 +136,26 @@
     """One message, its AVPs not yet read."""
 
     flags: int
-    command: int
-    application: int
-    hop_by_hop: int
-    end_to_end: int
+    command_code: int
+    application_id: int
+    hop_by_hop_id: int
+    end_to_end_id: int
     body: bytes = b""
 
     @property
     def is_request(self) -> bool:
-        return bool(self.flags & REQUEST)
+        return bool(self.flags & FLAG_REQUEST)
 
     def encode(self) -> bytes:
-        length = HEADER + len(self.body)
+        length = HEADER_BYTES + len(self.body)
         return (
             struct.pack(
                 ">IIIII",
                 1 << 24 | length,
-                self.flags << 24 | self.command,
-                self.application,
-                self.hop_by_hop,
-                self.end_to_end,
+                self.flags << 24 | self.command_code,
+                self.application_id,
+                self.hop_by_hop_id,
+                self.end_to_end_id,
             )
             + self.body
         )
@@ -158,26 +163,26 @@
     def answer(self, avps: Iterable[Avp], error: bool = False) -> Message:
         """The answer to this request: the same ids, and the E bit for a protocol error."""
         return Message(
-            self.flags & PROXIABLE | (ERROR if error else 0),
-            self.command,
-            self.application,
-            self.hop_by_hop,
-            self.end_to_end,
-            encode(avps),
+            self.flags & FLAG_PROXIABLE | (FLAG_ERROR if error else 0),
+            self.command_code,
+            self.application_id,
+            self.hop_by_hop_id,
+            self.end_to_end_id,
+            encode_avps(avps),
         )
 
 
 class Framer:
     """Cuts a stream into messages."""
 
-    def __init__(self, max_message: int = MAX_MESSAGE) -> None:
+    def __init__(self, max_message: int = MAX_MESSAGE_BYTES) -> None:
         self._buffer = bytearray()
         self._max = max_message
         # After this nothing can be read: the fault, and the header it is about.
         self.fault: tuple[Fault, Message] | None = None
 
     @property
-    def cut(self) -> bool:
+    def has_partial_message(self) -> bool:
         """Whether a message has been begun."""
         return bool(self._buffer)
 
@@ -189,14 +194,14 @@
         buffer = self._buffer
         buffer += data
         at = 0
-        while len(buffer) - at >= HEADER:
+        while len(buffer) - at >= HEADER_BYTES:
             first, second, application, hop, end = struct.unpack_from(">IIIII", buffer, at)
             length = first & 0xFFFFFF
             head = Message(second >> 24, second & 0xFFFFFF, application, hop, end)
             if first >> 24 != 1:
-                self.fault = Fault(Result.UNSUPPORTED_VERSION, "version is not 1"), head
-            elif length < HEADER or length % 4 or length > self._max:
-                self.fault = Fault(Result.INVALID_MESSAGE_LENGTH, f"message length {length}"), head
+                self.fault = Fault(ResultCode.UNSUPPORTED_VERSION, "version is not 1"), head
+            elif length < HEADER_BYTES or length % 4 or length > self._max:
+                self.fault = Fault(ResultCode.INVALID_MESSAGE_LENGTH, f"message length {length}"), head
             if self.fault is not None:
                 buffer.clear()
                 return found
@@ -204,7 +209,12 @@
                 break
             found.append(
                 Message(
-                    head.flags, head.command, application, hop, end, bytes(buffer[at + HEADER : at + length])
+                    head.flags,
+                    head.command_code,
+                    application,
+                    hop,
+                    end,
+                    bytes(buffer[at + HEADER_BYTES : at + length]),
                 )
             )
             at += length
@@ -212,7 +222,7 @@
         return found
 
 
-def encode(avps: Iterable[Avp]) -> bytes:
+def encode_avps(avps: Iterable[Avp]) -> bytes:
     return b"".join(avp.encode() for avp in avps)
 
 
@@ -222,54 +232,54 @@
     at = 0
     while at < len(body):
         if len(body) - at < 8:
-            return Fault(Result.INVALID_AVP_LENGTH, "AVP header cut", body[at:].ljust(8, b"\0"))
+            return Fault(ResultCode.INVALID_AVP_LENGTH, "AVP header cut", body[at:].ljust(8, b"\0"))
         code, word = struct.unpack_from(">II", body, at)
         flags, length = word >> 24, word & 0xFFFFFF
-        head = 12 if flags & VENDOR else 8
+        head = 12 if flags & AVP_FLAG_VENDOR else 8
         if length < head or at + length > len(body):
             # RFC 6733, 7.5: the offending AVP's header, its data filled up with zeroes.
             return Fault(
-                Result.INVALID_AVP_LENGTH,
+                ResultCode.INVALID_AVP_LENGTH,
                 f"AVP {code} length {length}",
                 struct.pack(">II", code, flags << 24 | head) + b"\0" * (head - 8),
             )
         if len(found) >= MAX_AVPS:
-            return Fault(Result.UNABLE_TO_COMPLY, "too many AVPs")
+            return Fault(ResultCode.UNABLE_TO_COMPLY, "too many AVPs")
         vendor = struct.unpack_from(">I", body, at + 8)[0] if head == 12 else 0
-        found.append(Avp(code, body[at + head : at + length], flags & ~VENDOR, vendor))
+        found.append(Avp(code, body[at + head : at + length], flags & ~AVP_FLAG_VENDOR, vendor))
         at += length + (-length % 4)
     return found
 
 
-def u32(code: int, value: int, flags: int = MANDATORY) -> Avp:
+def unsigned32_avp(code: int, value: int, flags: int = AVP_FLAG_MANDATORY) -> Avp:
     return Avp(code, struct.pack(">I", value), flags)
 
 
-def u64(code: int, value: int) -> Avp:
+def unsigned64_avp(code: int, value: int) -> Avp:
     return Avp(code, struct.pack(">Q", value))
 
 
-def text(code: int, value: str, flags: int = MANDATORY) -> Avp:
+def text_avp(code: int, value: str, flags: int = AVP_FLAG_MANDATORY) -> Avp:
     return Avp(code, value.encode(), flags)
 
 
-def group(code: int, avps: Iterable[Avp]) -> Avp:
-    return Avp(code, encode(avps))
+def grouped_avp(code: int, avps: Iterable[Avp]) -> Avp:
+    return Avp(code, encode_avps(avps))
 
 
 def _invalid(avp: Avp) -> Fault:
-    return Fault(Result.INVALID_AVP_VALUE, f"AVP {avp.code} has no valid value", avp.encode())
+    return Fault(ResultCode.INVALID_AVP_VALUE, f"AVP {avp.code} has no valid value", avp.encode())
 
 
-def read_u32(avp: Avp) -> int | Fault:
+def read_unsigned32(avp: Avp) -> int | Fault:
     if len(avp.data) != 4:
-        return Fault(Result.INVALID_AVP_LENGTH, f"AVP {avp.code} is not 4 bytes", avp.encode())
+        return Fault(ResultCode.INVALID_AVP_LENGTH, f"AVP {avp.code} is not 4 bytes", avp.encode())
     return int.from_bytes(avp.data, "big")
 
 
-def read_u64(avp: Avp) -> int | Fault:
+def read_unsigned64(avp: Avp) -> int | Fault:
     if len(avp.data) != 8:
-        return Fault(Result.INVALID_AVP_LENGTH, f"AVP {avp.code} is not 8 bytes", avp.encode())
+        return Fault(ResultCode.INVALID_AVP_LENGTH, f"AVP {avp.code} is not 8 bytes", avp.encode())
     return int.from_bytes(avp.data, "big")
 
 
@@ -280,45 +290,45 @@
         return _invalid(avp)
 
 
-def only(avps: Iterable[Avp], code: int) -> Avp | None:
+def find_avp(avps: Iterable[Avp], code: int) -> Avp | None:
     """The first AVP of a code, none of a vendor's."""
-    return next((avp for avp in avps if avp.code == code and not avp.vendor), None)
+    return next((avp for avp in avps if avp.code == code and not avp.vendor_id), None)
 
 
 def address_avp(host: str) -> Avp:
     """Host-IP-Address: the address family, then the address."""
     ip = ipaddress.ip_address(host)
-    return Avp(Code.HOST_IP_ADDRESS, struct.pack(">H", 1 if ip.version == 4 else 2) + ip.packed)
+    return Avp(AvpCode.HOST_IP_ADDRESS, struct.pack(">H", 1 if ip.version == 4 else 2) + ip.packed)
 
 
-def units_of(avp: Avp) -> int | Fault | None:
+def read_units(avp: Avp) -> int | Fault | None:
     """CC-Service-Specific-Units of a Requested- or Granted-Service-Unit; None where it holds none."""
     inner = read_avps(avp.data)
     if isinstance(inner, Fault):
         return inner
-    found = only(inner, Code.CC_SERVICE_SPECIFIC_UNITS)
-    return None if found is None else read_u64(found)
+    found = find_avp(inner, AvpCode.CC_SERVICE_SPECIFIC_UNITS)
+    return None if found is None else read_unsigned64(found)
 
 
 def units_avp(code: int, units: float) -> Avp:
-    return group(code, [u64(Code.CC_SERVICE_SPECIFIC_UNITS, max(round(units), 0))])
+    return grouped_avp(code, [unsigned64_avp(AvpCode.CC_SERVICE_SPECIFIC_UNITS, max(round(units), 0))])
 
 
 def value_avp(value: bytes) -> Avp:
     """What a query or its answer carries besides the standard AVPs."""
-    return group(
-        Code.SERVICE_PARAMETER_INFO,
-        [u32(Code.SERVICE_PARAMETER_TYPE, 1), Avp(Code.SERVICE_PARAMETER_VALUE, value)],
+    return grouped_avp(
+        AvpCode.SERVICE_PARAMETER_INFO,
+        [unsigned32_avp(AvpCode.SERVICE_PARAMETER_TYPE, 1), Avp(AvpCode.SERVICE_PARAMETER_VALUE, value)],
     )
 
 
-def value_of(avps: Iterable[Avp]) -> bytes | Fault | None:
+def read_value(avps: Iterable[Avp]) -> bytes | Fault | None:
     """The same, read."""
-    info = only(avps, Code.SERVICE_PARAMETER_INFO)
+    info = find_avp(avps, AvpCode.SERVICE_PARAMETER_INFO)
     if info is None:
         return None
     inner = read_avps(info.data)
     if isinstance(inner, Fault):
         return inner
-    found = only(inner, Code.SERVICE_PARAMETER_VALUE)
+    found = find_avp(inner, AvpCode.SERVICE_PARAMETER_VALUE)
     return None if found is None else found.data
--- a/badgeryoke/gateway/diameter/duplicate_requests.py
+++ b/badgeryoke/gateway/diameter/duplicate_requests.py
@@ -10,8 +10,8 @@
 from badgeryoke.gateway.responses import Response, Served
 
 # What is remembered at most; where none of it may be forgotten yet, new requests are refused.
-MOST = 50_000
-MOST_BYTES = 16 * 1024 * 1024
+MAX_REQUESTS = 50_000
+MAX_VALUE_BYTES = 16 * 1024 * 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -20,13 +20,13 @@
     CC-Request-Number."""
 
     origin_host: str
-    end_to_end: int
-    session: str
-    number: int
+    end_to_end_id: int
+    session_id: str
+    request_number: int
 
     def key(self) -> str:
         """The key for servers: derived from the identity alone, so that every gateway derives the same."""
-        parts = (self.origin_host, str(self.end_to_end), self.session, str(self.number))
+        parts = (self.origin_host, str(self.end_to_end_id), self.session_id, str(self.request_number))
         whole = b"".join(b"%d:%b" % (len(part.encode()), part.encode()) for part in parts)
         return hashlib.sha256(whole).hexdigest()[:16]
 
@@ -40,39 +40,41 @@
     answer: Response | None = None
 
 
-class _Mixed:
+class _Conflicting:
     """Stands for two different requests."""
 
 
 class DuplicateRequests:
     """The requests of the last minutes, found by either half of their identity."""
 
-    MIXED = _Mixed()
+    CONFLICTING = _Conflicting()
 
-    def __init__(self, keep_s: float, now: Callable[[], float], most: int = MOST) -> None:
+    def __init__(self, keep_s: float, now: Callable[[], float], most: int = MAX_REQUESTS) -> None:
         self._keep_s, self._now, self._most = keep_s, now, most
         self._by_host: dict[tuple[str, int], Entry] = {}
         self._by_session: dict[tuple[str, str, int], Entry] = {}
         self._ended: deque[tuple[float, Entry]] = deque()
         self._bytes = 0  # of the values kept
 
-    def find(self, identity: RequestIdentity) -> Entry | _Mixed | None:
+    def find(self, identity: RequestIdentity) -> Entry | _Conflicting | None:
         """The request that this one repeats; None for a new one; MIXED where the halves do not agree, as when
         a client gives one CC-Request-Number to two requests."""
         self._forget()
-        by_host = self._by_host.get((identity.origin_host, identity.end_to_end))
-        by_session = self._by_session.get((identity.origin_host, identity.session, identity.number))
+        by_host = self._by_host.get((identity.origin_host, identity.end_to_end_id))
+        by_session = self._by_session.get(
+            (identity.origin_host, identity.session_id, identity.request_number)
+        )
         if by_host is None and by_session is None:
             return None
-        return by_host if by_host is by_session and by_host is not None else self.MIXED
+        return by_host if by_host is by_session and by_host is not None else self.CONFLICTING
 
     def begin(self, identity: RequestIdentity) -> Entry | None:
         """Remember a new request; None where there is no room."""
-        if len(self._by_host) >= self._most or self._bytes >= MOST_BYTES:
+        if len(self._by_host) >= self._most or self._bytes >= MAX_VALUE_BYTES:
             return None
         entry = Entry(identity)
-        self._by_host[identity.origin_host, identity.end_to_end] = entry
-        self._by_session[identity.origin_host, identity.session, identity.number] = entry
+        self._by_host[identity.origin_host, identity.end_to_end_id] = entry
+        self._by_session[identity.origin_host, identity.session_id, identity.request_number] = entry
         return entry
 
     def end(self, entry: Entry, answer: Response, keep: bool) -> None:
@@ -96,8 +98,8 @@
 
     def _drop(self, entry: Entry) -> None:
         identity = entry.identity
-        self._by_host.pop((identity.origin_host, identity.end_to_end), None)
-        self._by_session.pop((identity.origin_host, identity.session, identity.number), None)
+        self._by_host.pop((identity.origin_host, identity.end_to_end_id), None)
+        self._by_session.pop((identity.origin_host, identity.session_id, identity.request_number), None)
 
 
 def _size(answer: Response | None) -> int:
--- a/badgeryoke/gateway/diameter/peer.py
+++ b/badgeryoke/gateway/diameter/peer.py
@@ -12,13 +12,13 @@
 from badgeryoke.gateway.actor import Actor, ActorScheduler
 from badgeryoke.gateway.connecting import on_close, pump
 from badgeryoke.gateway.diameter import codec
-from badgeryoke.gateway.diameter.codec import Avp, Code, Command, Fault, Message, Result
+from badgeryoke.gateway.diameter.codec import Avp, AvpCode, CommandCode, Fault, Message, ResultCode
 
 log = logging.getLogger(__name__)
 
-EXCHANGE_S = 5.0  # for the capabilities exchange, and for the answer to a DPR
+EXCHANGE_TIMEOUT_S = 5.0  # for the capabilities exchange, and for the answer to a DPR
 WATCHDOG_JITTER_S = 2.0  # RFC 3539
-FAILED_PROTOCOL = range(3000, 4000)  # result codes that go with the E bit
+PROTOCOL_ERRORS = range(3000, 4000)  # result codes that go with the E bit
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,7 +28,7 @@
     host: str
     realm: str
     address: str
-    state_id: int
+    origin_state_id: int
 
 
 class PeerState(Enum):
@@ -45,22 +45,22 @@
 
     def __init__(self, stream: IOStream, me: PeerIdentity, loop: ActorScheduler, watchdog_s: float) -> None:
         super().__init__(loop)
-        self.stream, self.me = stream, me
+        self.stream, self.identity = stream, me
         self.state = PeerState.WAIT_EXCHANGE
-        self.host = ""  # the other side's Origin-Host
-        self.heard_at = loop.time()
+        self.origin_host = ""  # the other side's Origin-Host
+        self.last_received_s = loop.time()
         self._framer = codec.Framer()
-        self._out: list[bytes] = []
+        self._outgoing: list[bytes] = []
         self._watchdog_s = watchdog_s
-        self._asked = False  # a DWR is out
-        self._ending = False  # close once what is gathered has been written
+        self._watchdog_pending = False  # a DWR is out
+        self._close_after_write = False  # close once what is gathered has been written
         self._next_id = random.getrandbits(32)
-        on_close(stream, lambda: self.post(self._gone))
-        loop.call_later(EXCHANGE_S, self.deliver, self._exchange_late)
+        on_close(stream, lambda: self.post(self._stream_closed))
+        loop.call_later(EXCHANGE_TIMEOUT_S, self.deliver, self._exchange_timed_out)
 
     async def read(self) -> None:
         """Take in what comes until the connection ends."""
-        await pump(self.stream, lambda data: self.deliver(self._arrived, data))
+        await pump(self.stream, lambda data: self.deliver(self._receive, data))
 
     def next_id(self) -> int:
         self._next_id = (self._next_id + 1) & 0xFFFFFFFF
@@ -72,207 +72,237 @@
         """A CCR or a CCA, on an open connection."""
         raise NotImplementedError
 
-    def opened(self) -> None:
+    def capabilities_exchanged(self) -> None:
         """The capabilities have been exchanged."""
 
-    def gone(self) -> None:
+    def connection_closed(self) -> None:
         """The connection has ended."""
 
     def accepts(self, host: str) -> bool:
         """Whether this peer is let in."""
-        return bool(host) and host.isascii() and host.isprintable() and host != self.me.host
+        return bool(host) and host.isascii() and host.isprintable() and host != self.identity.host
 
     # Writing.
 
     def send(self, message: Message) -> None:
-        self._out.append(message.encode())
+        self._outgoing.append(message.encode())
 
     def batch_ended(self) -> None:
         if self.stream.closed():
             return
-        if self._out:
-            out, self._out = b"".join(self._out), []
+        if self._outgoing:
+            out, self._outgoing = b"".join(self._outgoing), []
             try:
                 self.stream.write(out)
             except StreamClosedError:
                 return
             except Exception as fault:  # the write buffer's bound
-                log.warning("peer %s reads too slowly, connection closed: %s", self.host or "?", fault)
+                log.warning("peer %s reads too slowly, connection closed: %s", self.origin_host or "?", fault)
                 self.stream.close()
                 return
-        if self._ending:
-            self._finish()
+        if self._close_after_write:
+            self._close_when_flushed()
 
-    def _finish(self) -> None:
+    def _close_when_flushed(self) -> None:
         if self.stream.writing():
-            self._loop.call_later(0.01, self.deliver, self._finish)
+            self._loop.call_later(0.01, self.deliver, self._close_when_flushed)
         else:
             self.stream.close()
 
-    def base(self) -> list[Avp]:
-        return [codec.text(Code.ORIGIN_HOST, self.me.host), codec.text(Code.ORIGIN_REALM, self.me.realm)]
+    def origin_avps(self) -> list[Avp]:
+        return [
+            codec.text_avp(AvpCode.ORIGIN_HOST, self.identity.host),
+            codec.text_avp(AvpCode.ORIGIN_REALM, self.identity.realm),
+        ]
 
-    def reply(self, request: Message, result: int, extra: list[Avp], session: Avp | None = None) -> None:
+    def send_answer(
+        self, request: Message, result: int, extra: list[Avp], session: Avp | None = None
+    ) -> None:
         """Answer a request; protocol errors carry the E bit."""
         avps = [session] if session is not None else []
-        avps += [codec.u32(Code.RESULT_CODE, result), *self.base(), *extra]
-        self.send(request.answer(avps, result in FAILED_PROTOCOL))
+        avps += [codec.unsigned32_avp(AvpCode.RESULT_CODE, result), *self.origin_avps(), *extra]
+        self.send(request.answer(avps, result in PROTOCOL_ERRORS))
 
-    def reply_fault(
+    def send_fault_answer(
         self, request: Message, fault: Fault, session: Avp | None = None, extra: list[Avp] | None = None
     ) -> None:
-        avps = [codec.text(Code.ERROR_MESSAGE, fault.text, 0)]
-        if fault.failed:
-            avps.append(Avp(Code.FAILED_AVP, fault.failed + b"\0" * (-len(fault.failed) % 4)))
-        self.reply(request, fault.result, avps + (extra or []), session)
+        avps = [codec.text_avp(AvpCode.ERROR_MESSAGE, fault.text, 0)]
+        if fault.failed_avp:
+            avps.append(Avp(AvpCode.FAILED_AVP, fault.failed_avp + b"\0" * (-len(fault.failed_avp) % 4)))
+        self.send_answer(request, fault.result_code, avps + (extra or []), session)
 
-    def capabilities(self) -> list[Avp]:
+    def capabilities_avps(self) -> list[Avp]:
         return [
-            *self.base(),
-            codec.address_avp(self.me.address),
-            codec.u32(Code.VENDOR_ID, 0),
-            codec.text(Code.PRODUCT_NAME, "badgeryoke", 0),
-            codec.u32(Code.ORIGIN_STATE_ID, self.me.state_id),
-            codec.u32(Code.AUTH_APPLICATION_ID, codec.CREDIT_CONTROL),
+            *self.origin_avps(),
+            codec.address_avp(self.identity.address),
+            codec.unsigned32_avp(AvpCode.VENDOR_ID, 0),
+            codec.text_avp(AvpCode.PRODUCT_NAME, "badgeryoke", 0),
+            codec.unsigned32_avp(AvpCode.ORIGIN_STATE_ID, self.identity.origin_state_id),
+            codec.unsigned32_avp(AvpCode.AUTH_APPLICATION_ID, codec.CREDIT_CONTROL_APPLICATION_ID),
         ]
 
-    def request(self, command: int, avps: list[Avp]) -> None:
+    def send_request(self, command: int, avps: list[Avp]) -> None:
         """A request of the base protocol."""
         number = self.next_id()
-        self.send(Message(codec.REQUEST, command, 0, number, number, codec.encode(avps)))
+        self.send(Message(codec.FLAG_REQUEST, command, 0, number, number, codec.encode_avps(avps)))
 
     # Reading.
 
-    def _arrived(self, data: bytes) -> None:
-        self.heard_at = self._loop.time()
+    def _receive(self, data: bytes) -> None:
+        self.last_received_s = self._loop.time()
         for message in self._framer.feed(data):
-            if self._ending:
+            if self._close_after_write:
                 return
-            self._message(message)
-        if self._framer.fault is not None and not self._ending:
+            self._dispatch(message)
+        if self._framer.fault is not None and not self._close_after_write:
             fault, head = self._framer.fault
-            log.warning("peer %s: %s, connection closed", self.host or "?", fault.text)
+            log.warning("peer %s: %s, connection closed", self.origin_host or "?", fault.text)
             if head.is_request and self.state is PeerState.OPEN:
-                self.reply_fault(head, fault)
-            self._ending = True
+                self.send_fault_answer(head, fault)
+            self._close_after_write = True
 
-    def _message(self, message: Message) -> None:
+    def _dispatch(self, message: Message) -> None:
         avps = codec.read_avps(message.body)
-        if message.is_request and message.flags & codec.ERROR:
-            self.reply_fault(message, Fault(Result.INVALID_HDR_BITS, "E bit in a request"))
+        if message.is_request and message.flags & codec.FLAG_ERROR:
+            self.send_fault_answer(message, Fault(ResultCode.INVALID_HDR_BITS, "E bit in a request"))
         elif self.state is PeerState.WAIT_EXCHANGE:
-            if (message.command, message.is_request) != (Command.CAPABILITIES_EXCHANGE, self.expects_request):
-                log.warning("peer sent command %d before the capabilities exchange", message.command)
-                self._ending = True
+            if (message.command_code, message.is_request) != (
+                CommandCode.CAPABILITIES_EXCHANGE,
+                self.expects_request,
+            ):
+                log.warning("peer sent command %d before the capabilities exchange", message.command_code)
+                self._close_after_write = True
             else:
-                self._exchange(message, avps)
-        elif message.command == Command.CREDIT_CONTROL:
-            if message.is_request and message.application != codec.CREDIT_CONTROL:
-                self.reply_fault(message, Fault(Result.APPLICATION_UNSUPPORTED, "not credit control"))
+                self._exchange_capabilities(message, avps)
+        elif message.command_code == CommandCode.CREDIT_CONTROL:
+            if message.is_request and message.application_id != codec.CREDIT_CONTROL_APPLICATION_ID:
+                self.send_fault_answer(
+                    message, Fault(ResultCode.APPLICATION_UNSUPPORTED, "not credit control")
+                )
             else:
                 self.credit_control(message, avps)
         elif not message.is_request:
-            if message.command == Command.DEVICE_WATCHDOG:
-                self._asked = False
-            elif message.command == Command.DISCONNECT_PEER:
-                self._ending = True
+            if message.command_code == CommandCode.DEVICE_WATCHDOG:
+                self._watchdog_pending = False
+            elif message.command_code == CommandCode.DISCONNECT_PEER:
+                self._close_after_write = True
         elif isinstance(avps, Fault):
-            self.reply_fault(message, avps)
-        elif message.command == Command.DEVICE_WATCHDOG:
-            self.reply(message, Result.SUCCESS, [codec.u32(Code.ORIGIN_STATE_ID, self.me.state_id)])
-        elif message.command == Command.DISCONNECT_PEER:
-            self.reply(message, Result.SUCCESS, [])
-            self.state, self._ending = PeerState.CLOSING, True
-        elif message.command == Command.CAPABILITIES_EXCHANGE:
-            self.reply_fault(message, Fault(Result.UNABLE_TO_COMPLY, "capabilities were exchanged"))
+            self.send_fault_answer(message, avps)
+        elif message.command_code == CommandCode.DEVICE_WATCHDOG:
+            self.send_answer(
+                message,
+                ResultCode.SUCCESS,
+                [codec.unsigned32_avp(AvpCode.ORIGIN_STATE_ID, self.identity.origin_state_id)],
+            )
+        elif message.command_code == CommandCode.DISCONNECT_PEER:
+            self.send_answer(message, ResultCode.SUCCESS, [])
+            self.state, self._close_after_write = PeerState.CLOSING, True
+        elif message.command_code == CommandCode.CAPABILITIES_EXCHANGE:
+            self.send_fault_answer(message, Fault(ResultCode.UNABLE_TO_COMPLY, "capabilities were exchanged"))
         else:
-            self.reply_fault(message, Fault(Result.COMMAND_UNSUPPORTED, "command not known"))
+            self.send_fault_answer(message, Fault(ResultCode.COMMAND_UNSUPPORTED, "command not known"))
 
-    def _exchange(self, message: Message, avps: list[Avp] | Fault) -> None:
+    def _exchange_capabilities(self, message: Message, avps: list[Avp] | Fault) -> None:
         """CER or CEA: who is it, and is credit control common."""
         fault: Fault | None = avps if isinstance(avps, Fault) else None
         host = ""
         if not isinstance(avps, Fault):
-            origin = codec.only(avps, Code.ORIGIN_HOST)
+            origin = codec.find_avp(avps, AvpCode.ORIGIN_HOST)
             if origin is None:
-                fault = Fault(Result.MISSING_AVP, "no Origin-Host", Avp(Code.ORIGIN_HOST, b"").encode())
+                fault = Fault(
+                    ResultCode.MISSING_AVP, "no Origin-Host", Avp(AvpCode.ORIGIN_HOST, b"").encode()
+                )
             else:
                 host = origin.data.decode("ascii", "replace")
                 if not self.accepts(host):
-                    fault = Fault(Result.UNKNOWN_PEER, "this peer is not let in")
+                    fault = Fault(ResultCode.UNKNOWN_PEER, "this peer is not let in")
                 elif not _common_application(avps):
-                    fault = Fault(Result.NO_COMMON_APPLICATION, "no credit control")
+                    fault = Fault(ResultCode.NO_COMMON_APPLICATION, "no credit control")
             if not message.is_request and fault is None:
-                code = codec.only(avps, Code.RESULT_CODE)
-                result = None if code is None else codec.read_u32(code)
-                if result != Result.SUCCESS:
-                    fault = Fault(Result.UNKNOWN_PEER, f"exchange refused with {result}")
+                code = codec.find_avp(avps, AvpCode.RESULT_CODE)
+                result = None if code is None else codec.read_unsigned32(code)
+                if result != ResultCode.SUCCESS:
+                    fault = Fault(ResultCode.UNKNOWN_PEER, f"exchange refused with {result}")
         if fault is not None:
             log.warning("peer %.80r: capabilities exchange failed: %s", host, fault.text)
             if message.is_request:
-                self.reply_fault(message, fault)
-            self._ending = True
+                self.send_fault_answer(message, fault)
+            self._close_after_write = True
             return
-        self.host = host
+        self.origin_host = host
         if message.is_request:
-            self.send(message.answer([codec.u32(Code.RESULT_CODE, Result.SUCCESS), *self.capabilities()]))
+            self.send(
+                message.answer(
+                    [codec.unsigned32_avp(AvpCode.RESULT_CODE, ResultCode.SUCCESS), *self.capabilities_avps()]
+                )
+            )
         self.state = PeerState.OPEN
-        self._arm()
-        self.opened()
+        self._schedule_watchdog()
+        self.capabilities_exchanged()
 
     # Time.
 
-    def _arm(self) -> None:
+    def _schedule_watchdog(self) -> None:
         wait = self._watchdog_s + random.uniform(-WATCHDOG_JITTER_S, WATCHDOG_JITTER_S)
-        self._loop.call_later(max(wait, 0.1), self.deliver, self._watch)
+        self._loop.call_later(max(wait, 0.1), self.deliver, self._check_watchdog)
 
-    def _watch(self) -> None:
+    def _check_watchdog(self) -> None:
         """Nothing heard for the watchdog's time: ask; nothing after that either: the peer is gone."""
         if self.state is not PeerState.OPEN:
             return
-        if self._loop.time() - self.heard_at < self._watchdog_s - WATCHDOG_JITTER_S:
-            self._asked = False
-        elif self._asked:
-            log.warning("peer %s: no answer to the watchdog, connection closed", self.host)
+        if self._loop.time() - self.last_received_s < self._watchdog_s - WATCHDOG_JITTER_S:
+            self._watchdog_pending = False
+        elif self._watchdog_pending:
+            log.warning("peer %s: no answer to the watchdog, connection closed", self.origin_host)
             self.stream.close()
             return
         else:
-            self._asked = True
-            self.request(
-                Command.DEVICE_WATCHDOG, [*self.base(), codec.u32(Code.ORIGIN_STATE_ID, self.me.state_id)]
+            self._watchdog_pending = True
+            self.send_request(
+                CommandCode.DEVICE_WATCHDOG,
+                [
+                    *self.origin_avps(),
+                    codec.unsigned32_avp(AvpCode.ORIGIN_STATE_ID, self.identity.origin_state_id),
+                ],
             )
-        self._arm()
+        self._schedule_watchdog()
 
-    def _exchange_late(self) -> None:
+    def _exchange_timed_out(self) -> None:
         if self.state is PeerState.WAIT_EXCHANGE:
             self.stream.close()
 
     def disconnect(self, cause: int) -> None:
         """DPR: close when the other side has agreed, or after a while."""
         if self.state is not PeerState.OPEN:
-            self._ending = True
+            self._close_after_write = True
             return
         self.state = PeerState.CLOSING
-        self.request(Command.DISCONNECT_PEER, [*self.base(), codec.u32(Code.DISCONNECT_CAUSE, cause)])
-        self._loop.call_later(EXCHANGE_S, self.stream.close)
+        self.send_request(
+            CommandCode.DISCONNECT_PEER,
+            [*self.origin_avps(), codec.unsigned32_avp(AvpCode.DISCONNECT_CAUSE, cause)],
+        )
+        self._loop.call_later(EXCHANGE_TIMEOUT_S, self.stream.close)
 
-    def _gone(self) -> None:
+    def _stream_closed(self) -> None:
         if self.state is PeerState.CLOSED:
             return
-        if self._framer.cut:
-            log.warning("peer %s: connection ended inside a message", self.host or "?")
+        if self._framer.has_partial_message:
+            log.warning("peer %s: connection ended inside a message", self.origin_host or "?")
         self.state = PeerState.CLOSED
-        self.gone()
+        self.connection_closed()
 
 
 def _common_application(avps: list[Avp]) -> bool:
     for avp in avps:
         inner = [avp]
-        if avp.code == Code.VENDOR_SPECIFIC_APPLICATION_ID and not avp.vendor:
+        if avp.code == AvpCode.VENDOR_SPECIFIC_APPLICATION_ID and not avp.vendor_id:
             read = codec.read_avps(avp.data)
             inner = [] if isinstance(read, Fault) else read
         for part in inner:
-            ours = part.code == Code.AUTH_APPLICATION_ID and not part.vendor
-            if ours and codec.read_u32(part) in (codec.CREDIT_CONTROL, codec.RELAY):
+            ours = part.code == AvpCode.AUTH_APPLICATION_ID and not part.vendor_id
+            if ours and codec.read_unsigned32(part) in (
+                codec.CREDIT_CONTROL_APPLICATION_ID,
+                codec.RELAY_APPLICATION_ID,
+            ):
                 return True
     return False
--- a/badgeryoke/gateway/diameter/upstream_connection.py
+++ b/badgeryoke/gateway/diameter/upstream_connection.py
@@ -14,7 +14,7 @@
 from badgeryoke.gateway.attempt import Attempt, Request
 from badgeryoke.gateway.connecting import dial
 from badgeryoke.gateway.diameter import codec
-from badgeryoke.gateway.diameter.codec import Avp, Code, Command, Fault, Message, Result
+from badgeryoke.gateway.diameter.codec import Avp, AvpCode, CommandCode, Fault, Message, ResultCode
 from badgeryoke.gateway.diameter.peer import Peer, PeerIdentity, PeerState
 
 if TYPE_CHECKING:
@@ -23,11 +23,11 @@
 log = logging.getLogger(__name__)
 
 SERVICE_CONTEXT = "load@badgeryoke"
-IDLE_PART = 0.5  # of the settings' idle time a connection is kept
-MOST_OUT = 1024  # attempts of one connection
+IDLE_FRACTION = 0.5  # of the settings' idle time a connection is kept
+MAX_ATTEMPTS_IN_FLIGHT = 1024  # attempts of one connection
 
 
-def session_of(query: Request, realm: str) -> tuple[str, int]:
+def session_identifiers(query: Request, realm: str) -> tuple[str, int]:
     """Session-Id and End-to-End Id.  Of a keyed query they derive from its key alone, so that a server knows
     the repeat that another gateway sends."""
     mark = query.idempotency_key or query.id
@@ -35,41 +35,48 @@
     return f"{realm};{len(mark)};{low};{mark}", low
 
 
-def encode(
+def encode_request(
     query: Request, me: PeerIdentity, safe: bool, service: int | None, hop_by_hop: int, repeat: bool
 ) -> bytes:
     """The CCR of an event."""
-    session, end_to_end = session_of(query, me.realm)
+    session, end_to_end = session_identifiers(query, me.realm)
     avps = [
-        codec.text(Code.SESSION_ID, session),
-        codec.text(Code.ORIGIN_HOST, me.host),
-        codec.text(Code.ORIGIN_REALM, me.realm),
-        codec.text(Code.DESTINATION_REALM, me.realm),
-        codec.u32(Code.AUTH_APPLICATION_ID, codec.CREDIT_CONTROL),
-        codec.text(Code.SERVICE_CONTEXT_ID, SERVICE_CONTEXT),
-        codec.u32(Code.CC_REQUEST_TYPE, codec.EVENT_REQUEST),
-        codec.u32(Code.CC_REQUEST_NUMBER, 0),
-        codec.u32(Code.REQUESTED_ACTION, codec.CHECK_BALANCE if safe else codec.DIRECT_DEBITING),
-        codec.group(
-            Code.SUBSCRIPTION_ID,
+        codec.text_avp(AvpCode.SESSION_ID, session),
+        codec.text_avp(AvpCode.ORIGIN_HOST, me.host),
+        codec.text_avp(AvpCode.ORIGIN_REALM, me.realm),
+        codec.text_avp(AvpCode.DESTINATION_REALM, me.realm),
+        codec.unsigned32_avp(AvpCode.AUTH_APPLICATION_ID, codec.CREDIT_CONTROL_APPLICATION_ID),
+        codec.text_avp(AvpCode.SERVICE_CONTEXT_ID, SERVICE_CONTEXT),
+        codec.unsigned32_avp(AvpCode.CC_REQUEST_TYPE, codec.EVENT_REQUEST),
+        codec.unsigned32_avp(AvpCode.CC_REQUEST_NUMBER, 0),
+        codec.unsigned32_avp(
+            AvpCode.REQUESTED_ACTION, codec.CHECK_BALANCE if safe else codec.DIRECT_DEBITING
+        ),
+        codec.grouped_avp(
+            AvpCode.SUBSCRIPTION_ID,
             [
-                codec.u32(Code.SUBSCRIPTION_ID_TYPE, codec.END_USER_PRIVATE),
-                codec.text(Code.SUBSCRIPTION_ID_DATA, f"{query.customer:016x}"),
+                codec.unsigned32_avp(AvpCode.SUBSCRIPTION_ID_TYPE, codec.END_USER_PRIVATE),
+                codec.text_avp(AvpCode.SUBSCRIPTION_ID_DATA, f"{query.customer:016x}"),
             ],
         ),
-        codec.units_avp(Code.REQUESTED_SERVICE_UNIT, query.units),
+        codec.units_avp(AvpCode.REQUESTED_SERVICE_UNIT, query.units),
     ]
     if service is not None:
-        avps.append(codec.u32(Code.SERVICE_IDENTIFIER, service))
+        avps.append(codec.unsigned32_avp(AvpCode.SERVICE_IDENTIFIER, service))
     if query.body is not None:
         avps.append(codec.value_avp(query.body))
-    flags = codec.REQUEST | codec.PROXIABLE | (codec.RETRANSMIT if repeat else 0)
+    flags = codec.FLAG_REQUEST | codec.FLAG_PROXIABLE | (codec.FLAG_RETRANSMITTED if repeat else 0)
     return Message(
-        flags, Command.CREDIT_CONTROL, codec.CREDIT_CONTROL, hop_by_hop, end_to_end, codec.encode(avps)
+        flags,
+        CommandCode.CREDIT_CONTROL,
+        codec.CREDIT_CONTROL_APPLICATION_ID,
+        hop_by_hop,
+        end_to_end,
+        codec.encode_avps(avps),
     ).encode()
 
 
-def settle(execution: Attempt, avps: list[Avp] | Fault) -> str | None:
+def end_attempt(execution: Attempt, avps: list[Avp] | Fault) -> str | None:
     """End an attempt by its CCA; the result says what was malformed.
 
     A server that is too busy never began, so the query may go elsewhere; any other failure may have run.
@@ -77,17 +84,17 @@
     if isinstance(avps, Fault):
         execution.failed("malformed answer")
         return avps.text
-    code = codec.only(avps, Code.RESULT_CODE)
-    result = None if code is None else codec.read_u32(code)
+    code = codec.find_avp(avps, AvpCode.RESULT_CODE)
+    result = None if code is None else codec.read_unsigned32(code)
     if result is None or isinstance(result, Fault):
         execution.failed("malformed answer")
         return "answer without a Result-Code"
-    if result == Result.TOO_BUSY:
+    if result == ResultCode.TOO_BUSY:
         execution.rejected("DIAMETER_TOO_BUSY")
     elif 2000 <= result < 3000:
-        value = codec.value_of(avps)
-        granted = codec.only(avps, Code.GRANTED_SERVICE_UNIT)
-        units = None if granted is None else codec.units_of(granted)
+        value = codec.read_value(avps)
+        granted = codec.find_avp(avps, AvpCode.GRANTED_SERVICE_UNIT)
+        units = None if granted is None else codec.read_units(granted)
         if isinstance(value, Fault) or isinstance(units, Fault):
             execution.succeeded(b"", 0.0)
             return "answer with unreadable units or value"
@@ -107,20 +114,20 @@
     ) -> None:
         super().__init__(stream, owner.me, loop, watchdog_s)
         self._owner = owner
-        self.out: dict[int, Attempt] = {}
+        self.in_flight: dict[int, Attempt] = {}
         self._unwritten: list[Attempt] = []  # gathered in this turn
-        self.used_at = loop.time()
+        self.last_used_s = loop.time()
 
-    def opened(self) -> None:
-        self._owner.post(self._owner.opened, self)
+    def capabilities_exchanged(self) -> None:
+        self._owner.post(self._owner.connection_opened, self)
 
-    def gone(self) -> None:
+    def connection_closed(self) -> None:
         """What was written may have run; execution.lost() tells which was."""
-        out, self.out = self.out, {}
+        out, self.in_flight = self.in_flight, {}
         for execution in out.values():
             execution.on_abort = None
             execution.connection_lost(str(self.stream.error or "connection ended"))
-        self._owner.post(self._owner.closed, self)
+        self._owner.post(self._owner.connection_closed, self)
 
     def write(self, execution: Attempt) -> None:
         now = self._owner.clock()
@@ -130,17 +137,19 @@
         if not execution.may_be_written(now):
             execution.not_sent("too late to be sent")
             return
-        if len(self.out) >= MOST_OUT:
+        if len(self.in_flight) >= MAX_ATTEMPTS_IN_FLIGHT:
             execution.not_sent("too many attempts out")
             return
         query, owner = execution.request, self._owner
         number = self.next_id()
         repeat = execution.potential_duplicate or (query.retry and bool(query.idempotency_key))
-        self.out[number] = execution
+        self.in_flight[number] = execution
         execution.write_started = True
-        execution.on_abort = lambda: self.post(self._abandoned, number, execution)
+        execution.on_abort = lambda: self.post(self._attempt_abandoned, number, execution)
         service = owner.services.get(query.plan)
-        self._out.append(encode(query, self.me, bool(query.idempotent), service, number, repeat))
+        self._outgoing.append(
+            encode_request(query, self.identity, bool(query.idempotent), service, number, repeat)
+        )
         self._unwritten.append(execution)
 
     def batch_ended(self) -> None:
@@ -153,43 +162,45 @@
         for execution in batch[:-1] if stuck else batch:
             execution.written()
         if stuck:
-            self._loop.call_later(0.0, self.deliver, self._look, batch[-1])
+            self._loop.call_later(0.0, self.deliver, self._check_written, batch[-1])
 
-    def _look(self, last: Attempt) -> None:
+    def _check_written(self, last: Attempt) -> None:
         """Written whole once nothing waits in the stream; a break before that proves that it never ran."""
         if self.stream.closed():
             return
         if self.stream.writing():
-            self._loop.call_later(0.001, self.deliver, self._look, last)
+            self._loop.call_later(0.001, self.deliver, self._check_written, last)
         else:
             last.written()
 
-    def _abandoned(self, number: int, execution: Attempt) -> None:
+    def _attempt_abandoned(self, number: int, execution: Attempt) -> None:
         """Credit control has no way to take a request back.  Where the query has its final answer, a late CCA
         is ignored; where another attempt may follow, only closing the connection ends this one."""
-        if self.out.get(number) is not execution:
+        if self.in_flight.get(number) is not execution:
             return
-        del self.out[number]
+        del self.in_flight[number]
         if not execution.final:
             self.stream.close()
 
     def credit_control(self, message: Message, avps: list[Avp] | Fault) -> None:
         if message.is_request:
-            self.reply_fault(message, Fault(Result.UNABLE_TO_COMPLY, "this side serves no credit control"))
+            self.send_fault_answer(
+                message, Fault(ResultCode.UNABLE_TO_COMPLY, "this side serves no credit control")
+            )
             return
-        execution = self.out.pop(message.hop_by_hop, None)
-        self.used_at = self._loop.time()
+        execution = self.in_flight.pop(message.hop_by_hop_id, None)
+        self.last_used_s = self._loop.time()
         if execution is None:
             return  # the answer to an attempt that was abandoned
         execution.on_abort = None
-        if fault := settle(execution, avps):
-            self._owner.complain(fault)
-        self.part()
+        if fault := end_attempt(execution, avps):
+            self._owner.log_first_fault(fault)
+        self.disconnect_if_drained()
 
-    def part(self) -> None:
+    def disconnect_if_drained(self) -> None:
         """Leave a server that drains or is gone, once it owes nothing: the watchdog would hold the connection
         for good."""
-        if self._owner.draining and not self.out and self.state is PeerState.OPEN:
+        if self._owner.draining and not self.in_flight and self.state is PeerState.OPEN:
             self.disconnect(codec.DO_NOT_WANT_TO_TALK_TO_YOU)
 
 
@@ -214,11 +225,11 @@
         self.address, self.clock, self.me = address, clock, me
         self.services = services
         self._connect_ms, self._watchdog_s = connect_ms, watchdog_s
-        self._idle_s = idle_ms * IDLE_PART / 1000.0
+        self._idle_s = idle_ms * IDLE_FRACTION / 1000.0
         self._connection: _Connection | None = None
         self._waiting: list[Attempt] = []
         self.draining = False
-        self._complained = False
+        self._fault_logged = False
 
     def start(self, execution: Attempt) -> None:
         self.post(self._start, execution)
@@ -232,11 +243,11 @@
             and (self.lease is None or self.lease.is_held())
         ):
             self._connection.post(self._connection.write, execution)
-        elif len(self._waiting) >= MOST_OUT:
+        elif len(self._waiting) >= MAX_ATTEMPTS_IN_FLIGHT:
             execution.not_sent("too many attempts wait for the connection")
         else:
             self._waiting.append(execution)
-            self._loop.call_later(self._connect_ms / 1000.0, self.deliver, self._unmet, execution)
+            self._loop.call_later(self._connect_ms / 1000.0, self.deliver, self._connect_timed_out, execution)
             if self._connection is None:
                 self._connect()
 
@@ -245,44 +256,46 @@
             return  # whoever waits has its time
         try:
             stream, coming_up = (dial if self.lease is None else self.lease.dial)(
-                self.address, 4 * codec.MAX_MESSAGE
+                self.address, 4 * codec.MAX_MESSAGE_BYTES
             )
         except OSError as fault:
-            self.complain(f"no socket: {fault}")
+            self.log_first_fault(f"no socket: {fault}")
             waiting, self._waiting = self._waiting, []
             for execution in waiting:
                 execution.connection_lost(f"no socket: {fault}")
             return
         connection = self._connection = _Connection(stream, self, self._loop, self._watchdog_s)
-        self._task = asyncio.ensure_future(self._live(connection, coming_up))
+        self._task = asyncio.ensure_future(self._run_connection(connection, coming_up))
 
-    async def _live(self, connection: _Connection, coming_up: asyncio.Future[IOStream]) -> None:
+    async def _run_connection(self, connection: _Connection, coming_up: asyncio.Future[IOStream]) -> None:
         try:
             await coming_up
         except (StreamClosedError, OSError):
             connection.stream.close()
             return
-        connection.post(connection.request, Command.CAPABILITIES_EXCHANGE, connection.capabilities())
+        connection.post(
+            connection.send_request, CommandCode.CAPABILITIES_EXCHANGE, connection.capabilities_avps()
+        )
         await connection.read()
 
-    def opened(self, connection: _Connection) -> None:
+    def connection_opened(self, connection: _Connection) -> None:
         waiting, self._waiting = self._waiting, []
         for execution in waiting:
             if not execution.ended:
                 connection.post(connection.write, execution)
 
-    def closed(self, connection: _Connection) -> None:
+    def connection_closed(self, connection: _Connection) -> None:
         if connection is not self._connection:
             return
         self._connection = None
-        if connection.host and self._waiting and not self.draining:
+        if connection.origin_host and self._waiting and not self.draining:
             self._connect()  # it had been open, and was closed while these came
             return
         waiting, self._waiting = self._waiting, []
         for execution in waiting:
             execution.connection_lost(str(connection.stream.error or "no connection"))
 
-    def _unmet(self, execution: Attempt) -> None:
+    def _connect_timed_out(self, execution: Attempt) -> None:
         if execution in self._waiting:
             self._waiting.remove(execution)
             execution.connection_lost("no connection in time")
@@ -290,29 +303,29 @@
     @property
     def connections_needed(self) -> int:
         """See badgeryoke.gateway.cluster.upstream_lease.LeasedUpstream."""
-        return int(bool(self._waiting) or (self._connection is not None and bool(self._connection.out)))
+        return int(bool(self._waiting) or (self._connection is not None and bool(self._connection.in_flight)))
 
     def close_connections(self, count: int, include_in_use: bool) -> None:
         """See badgeryoke.gateway.cluster.upstream_lease.LeasedUpstream."""
-        self.post(self._shrink, include_in_use)
+        self.post(self._close_connection, include_in_use)
 
-    def _shrink(self, all_: bool) -> None:
+    def _close_connection(self, all_: bool) -> None:
         connection = self._connection
-        if connection is not None and (all_ or not connection.out):
+        if connection is not None and (all_ or not connection.in_flight):
             connection.stream.close()
 
     def capacity_available(self) -> None:
         """See badgeryoke.gateway.cluster.upstream_lease.LeasedUpstream."""
-        self.post(self._grown)
+        self.post(self._connect_if_needed)
 
-    def _grown(self) -> None:
+    def _connect_if_needed(self) -> None:
         if self._waiting and self._connection is None and not self.draining:
             self._connect()
 
-    def complain(self, words: str) -> None:
+    def log_first_fault(self, words: str) -> None:
         """Log a server's fault once."""
-        if not self._complained:
-            self._complained = True
+        if not self._fault_logged:
+            self._fault_logged = True
             log.warning("server %s:%d %s", *self.address, words)
 
     def sweep(self) -> None:
@@ -321,8 +334,8 @@
         if (
             connection is not None
             and connection.state is PeerState.OPEN
-            and not connection.out
-            and self._loop.time() - connection.used_at > self._idle_s
+            and not connection.in_flight
+            and self._loop.time() - connection.last_used_s > self._idle_s
         ):
             connection.post(connection.disconnect, codec.DO_NOT_WANT_TO_TALK_TO_YOU)
 
@@ -335,7 +348,7 @@
         for execution in waiting:
             execution.connection_lost("server is draining")
         if self._connection is not None:
-            self._connection.post(self._connection.part)
+            self._connection.post(self._connection.disconnect_if_drained)
 
     def reopen(self) -> None:
         self.post(self._reopen)
--- a/badgeryoke/gateway/lifecycle.py
+++ b/badgeryoke/gateway/lifecycle.py
@@ -267,13 +267,13 @@
     def _set_rejecting(self, rejecting: bool) -> None:
         self._parts.resp_listener.turning = rejecting
         if self._parts.diameter_listener is not None:
-            self._parts.diameter_listener.turning = rejecting
+            self._parts.diameter_listener.draining = rejecting
 
     def _close_connections(self) -> None:
         self._parts.resp_listener.close_links()
         if self._parts.diameter_listener is not None:
-            for peer in list(self._parts.diameter_listener.links):
-                peer.end()
+            for peer in list(self._parts.diameter_listener.connections):
+                peer.drain()
 
     def _stop_accepting(self) -> None:
         self._parts.resp_listener.stop()
@@ -301,7 +301,7 @@
 
     def _poll_connections(self) -> None:
         diameter = self._parts.diameter_listener
-        if self._parts.resp_listener.links or (diameter is not None and diameter.links):
+        if self._parts.resp_listener.links or (diameter is not None and diameter.connections):
             self._parts.loop.call_later(POLL_INTERVAL_S, self._poll_connections)
             return
         self.post(ShutdownEvent.ALL_ANSWERED)
--- a/tests/gateway/diameter/test_diameter.py
+++ b/tests/gateway/diameter/test_diameter.py
@@ -400,10 +400,10 @@
     loop, stream = FakeLoop(), Stream()
     me = PeerIdentity("gw0.yoke.example", "yoke.example", "127.0.0.1", 1)
     peer = Peer(stream, me, ActorScheduler(loop), 30.0)  # type: ignore[arg-type]
-    peer.deliver(peer._arrived, cer())
+    peer.deliver(peer._receive, cer())
     loop.run(35.0)
     assert stream.sent.count(struct.pack(">I", 0x80 << 24 | 280)) == 1 and not stream.over
-    peer.deliver(peer._arrived, message(0, 280, 0, 1, 1, avp(268, 2001)))
+    peer.deliver(peer._receive, message(0, 280, 0, 1, 1, avp(268, 2001)))
     loop.run(20.0)
     assert not stream.over
     loop.run(100.0)
@@ -538,14 +538,14 @@
             Attempt(asked, 0, 1, 0.0, 1000.0, lambda one, end: ends.update({one.request.id: end.verdict})),
         )
     loop.run()
-    connection.gone()
+    connection.connection_closed()
     assert ends == {"first": Verdict.RESET, "second": Verdict.RESET, "last": Verdict.CONNECT_FAILED}
 
 
 def test_more_requests_than_a_connection_may_have_are_told_when_to_come_back(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(client_connection, "MOST_OUT", 1)
+    monkeypatch.setattr(client_connection, "MAX_REQUESTS_IN_FLIGHT", 1)
 
     async def test(app: GatewayApplication, node: DiameterServer) -> None:
         peer = await open_peer(app)
--- a/tests/gateway/diameter/test_golden_diameter.py
+++ b/tests/gateway/diameter/test_golden_diameter.py
@@ -12,7 +12,7 @@
 from badgeryoke.gateway.actor import ActorScheduler
 from badgeryoke.gateway.attempt import Attempt, AttemptEnd, Request
 from badgeryoke.gateway.diameter import codec, upstream_connection
-from badgeryoke.gateway.diameter.codec import Avp, Code, Command, Message
+from badgeryoke.gateway.diameter.codec import Avp, AvpCode, CommandCode, Message
 from badgeryoke.gateway.diameter.peer import Peer, PeerIdentity
 from tests.gateway.diameter.test_diameter import CLOSED, FAULTS
 from tests.support.canonical import canonical
@@ -60,7 +60,7 @@
 def requests() -> list[tuple[str, bytes]]:
     """The CCR of each query."""
     return [
-        (name, upstream_connection.encode(asked, ME, safe, service, FIRST_ID + place, repeat))
+        (name, upstream_connection.encode_request(asked, ME, safe, service, FIRST_ID + place, repeat))
         for place, (name, asked, safe, service, repeat) in enumerate(CCRS)
     ]
 
@@ -72,7 +72,7 @@
 def test_a_golden_request_is_read_back_whole() -> None:
     for _, data in requests():
         [read] = codec.Framer().feed(data)
-        assert read.encode() == data and read.command == Command.CREDIT_CONTROL
+        assert read.encode() == data and read.command_code == CommandCode.CREDIT_CONTROL
 
 
 # How a server's answer is read ------------------------------------------------------------------------
@@ -80,10 +80,10 @@
 
 def answer_of(result: int, *more: Avp) -> list[Avp]:
     """An answer's AVPs."""
-    return [codec.u32(Code.RESULT_CODE, result), *more]
+    return [codec.unsigned32_avp(AvpCode.RESULT_CODE, result), *more]
 
 
-GRANTED = codec.units_avp(Code.GRANTED_SERVICE_UNIT, 3)
+GRANTED = codec.units_avp(AvpCode.GRANTED_SERVICE_UNIT, 3)
 REPLIES: tuple[tuple[str, list[Avp]], ...] = (
     ("success", answer_of(2001, GRANTED, codec.value_avp(b"value"))),
     ("success alone", answer_of(2001)),
@@ -92,9 +92,9 @@
     ("unable to deliver", answer_of(3002)),
     ("rating failed", answer_of(5031)),
     ("no result", []),
-    ("result of one byte", [Avp(Code.RESULT_CODE, b"1")]),
-    ("units of one byte", answer_of(2001, codec.group(Code.GRANTED_SERVICE_UNIT, [Avp(417, b"1")]))),
-    ("value that is cut", answer_of(2001, Avp(Code.SERVICE_PARAMETER_INFO, b"\0\0"))),
+    ("result of one byte", [Avp(AvpCode.RESULT_CODE, b"1")]),
+    ("units of one byte", answer_of(2001, codec.grouped_avp(AvpCode.GRANTED_SERVICE_UNIT, [Avp(417, b"1")]))),
+    ("value that is cut", answer_of(2001, Avp(AvpCode.SERVICE_PARAMETER_INFO, b"\0\0"))),
 )
 
 
@@ -105,7 +105,7 @@
         ends: list[AttemptEnd] = []
         execution = Attempt(CCRS[0][1], 0, 1, NOW_MS, NOW_MS + 900.0, lambda _, end: ends.append(end))  # noqa: B023
         execution.written()
-        complaint = upstream_connection.settle(execution, reply)
+        complaint = upstream_connection.end_attempt(execution, reply)
         lines.append(f"{name}: {canonical((ends, complaint))}")
     return lines
 
@@ -151,7 +151,7 @@
     """What a connection writes when it has taken something in."""
     stream.written.clear()
     if data:
-        peer.deliver(peer._arrived, data)
+        peer.deliver(peer._receive, data)
     return b"".join(stream.written)
 
 
@@ -173,7 +173,7 @@
     stream.written.clear()
     loop.run(WATCHDOG_S * 1.2)
     written.append(("DWR", b"".join(stream.written)))
-    peer.deliver(peer._arrived, message(0, 280, 0, FIRST_ID + 1, FIRST_ID + 1, avp(268, 2001) + BASE))
+    peer.deliver(peer._receive, message(0, 280, 0, FIRST_ID + 1, FIRST_ID + 1, avp(268, 2001) + BASE))
     written += [
         ("unknown command", received(peer, stream, message(0x80, 271, 0, 5, 6, BASE))),
         ("E bit", received(peer, stream, message(0xA0, 280, 0, 7, 8, BASE))),
@@ -189,7 +189,7 @@
     loop, stream = FakeLoop(), Stream()
     peer = OpeningPeer(cast(IOStream, stream), ME, ActorScheduler(loop), WATCHDOG_S)
     peer._next_id = FIRST_ID
-    peer.deliver(peer.request, Command.CAPABILITIES_EXCHANGE, peer.capabilities())
+    peer.deliver(peer.send_request, CommandCode.CAPABILITIES_EXCHANGE, peer.capabilities_avps())
     written = [("CER", b"".join(stream.written)), ("after CEA", received(peer, stream, CEA))]
     stream.written.clear()
     peer.deliver(peer.disconnect, codec.DO_NOT_WANT_TO_TALK_TO_YOU)
@@ -239,8 +239,8 @@
 
 def without_start(exchange: bytes) -> bytes:
     """A capabilities answer with 0 for its Origin-State-Id, which is the time of the process's start."""
-    started = avps(exchange[HEADER:])[Code.ORIGIN_STATE_ID]
-    return exchange.replace(avp(Code.ORIGIN_STATE_ID, started), avp(Code.ORIGIN_STATE_ID, b"\0" * 4))
+    started = avps(exchange[HEADER:])[AvpCode.ORIGIN_STATE_ID]
+    return exchange.replace(avp(AvpCode.ORIGIN_STATE_ID, started), avp(AvpCode.ORIGIN_STATE_ID, b"\0" * 4))
 
 
 def answers() -> list[tuple[str, bytes]]:
@@ -277,13 +277,16 @@
 def test_messages_are_made_as_the_standard_has_them() -> None:
     """The codec against the independent one of the stand-ins."""
     made = Message(
-        codec.REQUEST,
-        Command.DEVICE_WATCHDOG,
+        codec.FLAG_REQUEST,
+        CommandCode.DEVICE_WATCHDOG,
         0,
         3,
         4,
-        codec.encode(
-            [codec.text(Code.ORIGIN_HOST, "node.example"), codec.text(Code.ORIGIN_REALM, "yoke.example")]
+        codec.encode_avps(
+            [
+                codec.text_avp(AvpCode.ORIGIN_HOST, "node.example"),
+                codec.text_avp(AvpCode.ORIGIN_REALM, "yoke.example"),
+            ]
         ),
     )
     assert made.encode() == message(0x80, 280, 0, 3, 4, BASE)
--- a/tests/gateway/test_parsers.py
+++ b/tests/gateway/test_parsers.py
@@ -259,7 +259,9 @@
     data = ccr(7) + ccr(8, number=1)
     framer = codec.Framer()
     got = [m for n in range(len(data)) for m in framer.feed(data[n : n + 1])]
-    assert [m.end_to_end for m in got] == [7, 8] and not framer.cut and framer.fault is None
+    assert (
+        [m.end_to_end_id for m in got] == [7, 8] and not framer.has_partial_message and framer.fault is None
+    )
     assert b"".join(m.encode() for m in got) == data
 
 
@@ -282,14 +284,14 @@
 )
 def test_malformed_avps_are_a_fault_with_a_result_code(body: bytes, result: int) -> None:
     fault = codec.read_avps(body)
-    assert isinstance(fault, codec.Fault) and fault.result == result
+    assert isinstance(fault, codec.Fault) and fault.result_code == result
 
 
 def test_avps_are_padded_and_read_back() -> None:
-    made = [codec.text(263, "abc"), codec.Avp(7, b"\1\2\3\4\5", 0, 10415), codec.units_avp(437, 3)]
-    data = codec.encode(made)
+    made = [codec.text_avp(263, "abc"), codec.Avp(7, b"\1\2\3\4\5", 0, 10415), codec.units_avp(437, 3)]
+    data = codec.encode_avps(made)
     assert codec.read_avps(data) == made and len(data) % 4 == 0
-    assert avps(data)[263] == b"abc" and codec.units_of(made[2]) == 3
+    assert avps(data)[263] == b"abc" and codec.read_units(made[2]) == 3
 
 
 def test_the_idempotency_key_derives_from_the_complete_request_identity_alone() -> None:
