Split the Diameter client connection and document the package's public items

Cause: client_connection.py held request reading, the register of requests, the listener and the connection in 423 lines; public items had no docstrings.

--- a/badgeryoke/gateway/diameter/codec.py
+++ b/badgeryoke/gateway/diameter/codec.py
@@ -1,4 +1,4 @@
-"""Diameter messages (RFC 6733) and credit control's AVPs (RFC 8506): read piece by piece, written whole.
+"""Codec of Diameter messages (RFC 6733) and of the AVPs of credit control (RFC 8506).
 
 A fault in a message is a value that carries the Result-Code and the AVP it is about.
 """
@@ -26,6 +26,8 @@
 
 
 class CommandCode(IntEnum):
+    """Command codes."""
+
     CAPABILITIES_EXCHANGE = 257
     CREDIT_CONTROL = 272
     DEVICE_WATCHDOG = 280
@@ -114,6 +116,7 @@
     vendor_id: int = 0
 
     def encode(self) -> bytes:
+        """The AVP with its header and padding."""
         flags = self.flags | AVP_FLAG_VENDOR if self.vendor_id else self.flags & ~AVP_FLAG_VENDOR
         extra = struct.pack(">I", self.vendor_id) if self.vendor_id else b""
         length = 8 + len(extra) + len(self.data)
@@ -144,9 +147,11 @@
 
     @property
     def is_request(self) -> bool:
+        """Whether the R bit is set."""
         return bool(self.flags & FLAG_REQUEST)
 
     def encode(self) -> bytes:
+        """The message with its header."""
         length = HEADER_BYTES + len(self.body)
         return (
             struct.pack(
@@ -173,7 +178,7 @@
 
 
 class Framer:
-    """Cuts a stream into messages."""
+    """Splits a byte stream into messages."""
 
     def __init__(self, max_message: int = MAX_MESSAGE_BYTES) -> None:
         self._buffer = bytearray()
@@ -183,87 +188,94 @@
 
     @property
     def has_partial_message(self) -> bool:
-        """Whether a message has been begun."""
+        """Whether the buffer holds the beginning of a message."""
         return bool(self._buffer)
 
     def feed(self, data: bytes) -> list[Message]:
         """The messages that data completes; stops for good at a fault."""
-        found: list[Message] = []
+        messages: list[Message] = []
         if self.fault is not None:
-            return found
+            return messages
         buffer = self._buffer
         buffer += data
-        at = 0
-        while len(buffer) - at >= HEADER_BYTES:
-            first, second, application, hop, end = struct.unpack_from(">IIIII", buffer, at)
+        offset = 0
+        while len(buffer) - offset >= HEADER_BYTES:
+            first, second, application, hop, end = struct.unpack_from(">IIIII", buffer, offset)
             length = first & 0xFFFFFF
-            head = Message(second >> 24, second & 0xFFFFFF, application, hop, end)
+            header = Message(second >> 24, second & 0xFFFFFF, application, hop, end)
             if first >> 24 != 1:
-                self.fault = Fault(ResultCode.UNSUPPORTED_VERSION, "version is not 1"), head
+                self.fault = Fault(ResultCode.UNSUPPORTED_VERSION, "version is not 1"), header
             elif length < HEADER_BYTES or length % 4 or length > self._max:
-                self.fault = Fault(ResultCode.INVALID_MESSAGE_LENGTH, f"message length {length}"), head
+                self.fault = Fault(ResultCode.INVALID_MESSAGE_LENGTH, f"message length {length}"), header
             if self.fault is not None:
                 buffer.clear()
-                return found
-            if len(buffer) - at < length:
+                return messages
+            if len(buffer) - offset < length:
                 break
-            found.append(
+            messages.append(
                 Message(
-                    head.flags,
-                    head.command_code,
+                    header.flags,
+                    header.command_code,
                     application,
                     hop,
                     end,
-                    bytes(buffer[at + HEADER_BYTES : at + length]),
+                    bytes(buffer[offset + HEADER_BYTES : offset + length]),
                 )
             )
-            at += length
-        del buffer[:at]
-        return found
+            offset += length
+        del buffer[:offset]
+        return messages
 
 
 def encode_avps(avps: Iterable[Avp]) -> bytes:
+    """The AVPs of a message body or of a Grouped AVP, in their order."""
     return b"".join(avp.encode() for avp in avps)
 
 
 def read_avps(body: bytes) -> list[Avp] | Fault:
     """The AVPs of a message or of a group."""
-    found: list[Avp] = []
-    at = 0
-    while at < len(body):
-        if len(body) - at < 8:
-            return Fault(ResultCode.INVALID_AVP_LENGTH, "AVP header cut", body[at:].ljust(8, b"\0"))
-        code, word = struct.unpack_from(">II", body, at)
-        flags, length = word >> 24, word & 0xFFFFFF
-        head = 12 if flags & AVP_FLAG_VENDOR else 8
-        if length < head or at + length > len(body):
+    avps: list[Avp] = []
+    offset = 0
+    while offset < len(body):
+        if len(body) - offset < 8:
+            return Fault(ResultCode.INVALID_AVP_LENGTH, "AVP header cut", body[offset:].ljust(8, b"\0"))
+        code, flags_and_length = struct.unpack_from(">II", body, offset)
+        flags, length = flags_and_length >> 24, flags_and_length & 0xFFFFFF
+        header_bytes = 12 if flags & AVP_FLAG_VENDOR else 8
+        if length < header_bytes or offset + length > len(body):
             # RFC 6733, 7.5: the offending AVP's header, its data filled up with zeroes.
             return Fault(
                 ResultCode.INVALID_AVP_LENGTH,
                 f"AVP {code} length {length}",
-                struct.pack(">II", code, flags << 24 | head) + b"\0" * (head - 8),
+                struct.pack(">II", code, flags << 24 | header_bytes) + b"\0" * (header_bytes - 8),
             )
-        if len(found) >= MAX_AVPS:
+        if len(avps) >= MAX_AVPS:
             return Fault(ResultCode.UNABLE_TO_COMPLY, "too many AVPs")
-        vendor = struct.unpack_from(">I", body, at + 8)[0] if head == 12 else 0
-        found.append(Avp(code, body[at + head : at + length], flags & ~AVP_FLAG_VENDOR, vendor))
-        at += length + (-length % 4)
-    return found
+        vendor = struct.unpack_from(">I", body, offset + 8)[0] if header_bytes == 12 else 0
+        avps.append(
+            Avp(code, body[offset + header_bytes : offset + length], flags & ~AVP_FLAG_VENDOR, vendor)
+        )
+        offset += length + (-length % 4)
+    return avps
 
 
 def unsigned32_avp(code: int, value: int, flags: int = AVP_FLAG_MANDATORY) -> Avp:
+    """An AVP of type Unsigned32, Enumerated or Time."""
     return Avp(code, struct.pack(">I", value), flags)
 
 
 def unsigned64_avp(code: int, value: int) -> Avp:
+    """An AVP of type Unsigned64."""
     return Avp(code, struct.pack(">Q", value))
 
 
 def text_avp(code: int, value: str, flags: int = AVP_FLAG_MANDATORY) -> Avp:
+    """An AVP of type UTF8String or DiameterIdentity."""
     return Avp(code, value.encode(), flags)
 
 
 def grouped_avp(code: int, avps: Iterable[Avp]) -> Avp:
+    """An AVP of type Grouped."""
     return Avp(code, encode_avps(avps))
 
 
@@ -272,18 +284,21 @@
 
 
 def read_unsigned32(avp: Avp) -> int | Fault:
+    """The value of an Unsigned32, Enumerated or Time AVP."""
     if len(avp.data) != 4:
         return Fault(ResultCode.INVALID_AVP_LENGTH, f"AVP {avp.code} is not 4 bytes", avp.encode())
     return int.from_bytes(avp.data, "big")
 
 
 def read_unsigned64(avp: Avp) -> int | Fault:
+    """The value of an Unsigned64 AVP."""
     if len(avp.data) != 8:
         return Fault(ResultCode.INVALID_AVP_LENGTH, f"AVP {avp.code} is not 8 bytes", avp.encode())
     return int.from_bytes(avp.data, "big")
 
 
 def read_text(avp: Avp) -> str | Fault:
+    """The value of a UTF8String AVP."""
     try:
         return avp.data.decode()
     except UnicodeDecodeError:
@@ -311,11 +326,12 @@
 
 
 def units_avp(code: int, units: float) -> Avp:
+    """A Requested- or Granted-Service-Unit with CC-Service-Specific-Units."""
     return grouped_avp(code, [unsigned64_avp(AvpCode.CC_SERVICE_SPECIFIC_UNITS, max(round(units), 0))])
 
 
 def value_avp(value: bytes) -> Avp:
-    """What a query or its answer carries besides the standard AVPs."""
+    """A Service-Parameter-Info that carries the body of a request or the value of an answer."""
     return grouped_avp(
         AvpCode.SERVICE_PARAMETER_INFO,
         [unsigned32_avp(AvpCode.SERVICE_PARAMETER_TYPE, 1), Avp(AvpCode.SERVICE_PARAMETER_VALUE, value)],
@@ -323,7 +339,7 @@
 
 
 def read_value(avps: Iterable[Avp]) -> bytes | Fault | None:
-    """The same, read."""
+    """The value of a Service-Parameter-Info; None where there is none."""
     info = find_avp(avps, AvpCode.SERVICE_PARAMETER_INFO)
     if info is None:
         return None
--- a/badgeryoke/gateway/diameter/duplicate_requests.py
+++ b/badgeryoke/gateway/diameter/duplicate_requests.py
@@ -9,14 +9,14 @@
 
 from badgeryoke.gateway.responses import Response, Served
 
-# What is remembered at most; where none of it may be forgotten yet, new requests are refused.
+# Limits of the register; while no entry may expire yet, new requests are rejected.
 MAX_REQUESTS = 50_000
 MAX_VALUE_BYTES = 16 * 1024 * 1024
 
 
 @dataclass(frozen=True, slots=True)
 class RequestIdentity:
-    """What a client repeats unchanged: RFC 6733's Origin-Host and End-to-End Id, RFC 8506's Session-Id and
+    """What a retransmission repeats unchanged: RFC 6733's Origin-Host and End-to-End Id, RFC 8506's Session-Id and
     CC-Request-Number."""
 
     origin_host: str
@@ -54,7 +54,7 @@
         self._by_host: dict[tuple[str, int], Entry] = {}
         self._by_session: dict[tuple[str, str, int], Entry] = {}
         self._ended: deque[tuple[float, Entry]] = deque()
-        self._bytes = 0  # of the values kept
+        self._bytes = 0  # of the cached values
 
     def find(self, identity: RequestIdentity) -> Entry | _Conflicting | None:
         """The request that this one repeats; None for a new one; MIXED where the halves do not agree, as when
@@ -69,7 +69,7 @@
         return by_host if by_host is by_session and by_host is not None else self.CONFLICTING
 
     def begin(self, identity: RequestIdentity) -> Entry | None:
-        """Remember a new request; None where there is no room."""
+        """Remember a new request; None where a limit is reached."""
         if len(self._by_host) >= self._most or self._bytes >= MAX_VALUE_BYTES:
             return None
         entry = Entry(identity)
--- a/badgeryoke/gateway/diameter/peer.py
+++ b/badgeryoke/gateway/diameter/peer.py
@@ -1,4 +1,4 @@
-"""The base protocol's side of one Diameter connection: capabilities, watchdog, disconnection (RFC 6733)."""
+"""The base protocol of one connection: capabilities exchange, watchdog, disconnection (RFC 6733)."""
 
 from __future__ import annotations
 
@@ -23,7 +23,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerIdentity:
-    """Who this gateway is."""
+    """The Diameter identity of this gateway."""
 
     host: str
     realm: str
@@ -32,6 +32,8 @@
 
 
 class PeerState(Enum):
+    """The states of a connection (RFC 6733, 5.6, without election)."""
+
     WAIT_EXCHANGE = "wait for CER or CEA"
     OPEN = "open"
     CLOSING = "wait for DPA"
@@ -39,36 +41,39 @@
 
 
 class Peer(Actor):
-    """One connection.  A client link or a server link adds what it does with credit control."""
+    """One connection; the client and the upstream subclass add credit control."""
 
     expects_request = True  # the other side opened the connection, and sends the CER
 
-    def __init__(self, stream: IOStream, me: PeerIdentity, loop: ActorScheduler, watchdog_s: float) -> None:
+    def __init__(
+        self, stream: IOStream, identity: PeerIdentity, loop: ActorScheduler, watchdog_s: float
+    ) -> None:
         super().__init__(loop)
-        self.stream, self.identity = stream, me
+        self.stream, self.identity = stream, identity
         self.state = PeerState.WAIT_EXCHANGE
         self.origin_host = ""  # the other side's Origin-Host
         self.last_received_s = loop.time()
         self._framer = codec.Framer()
         self._outgoing: list[bytes] = []
         self._watchdog_s = watchdog_s
-        self._watchdog_pending = False  # a DWR is out
-        self._close_after_write = False  # close once what is gathered has been written
+        self._watchdog_pending = False  # a Device-Watchdog-Request awaits its answer
+        self._close_after_write = False  # close once the outgoing messages are written
         self._next_id = random.getrandbits(32)
         on_close(stream, lambda: self.post(self._stream_closed))
         loop.call_later(EXCHANGE_TIMEOUT_S, self.deliver, self._exchange_timed_out)
 
     async def read(self) -> None:
-        """Take in what comes until the connection ends."""
+        """Receive messages until the connection ends."""
         await pump(self.stream, lambda data: self.deliver(self._receive, data))
 
     def next_id(self) -> int:
+        """A new Hop-by-Hop Identifier; it wraps around at 32 bits."""
         self._next_id = (self._next_id + 1) & 0xFFFFFFFF
         return self._next_id
 
-    # What a link adds.
+    # What a subclass adds.
 
-    def credit_control(self, message: Message, avps: list[Avp] | Fault) -> None:
+    def handle_credit_control(self, message: Message, avps: list[Avp] | Fault) -> None:
         """A CCR or a CCA, on an open connection."""
         raise NotImplementedError
 
@@ -78,16 +83,18 @@
     def connection_closed(self) -> None:
         """The connection has ended."""
 
-    def accepts(self, host: str) -> bool:
-        """Whether this peer is let in."""
+    def accepts_peer(self, host: str) -> bool:
+        """Whether a peer with this Origin-Host may connect."""
         return bool(host) and host.isascii() and host.isprintable() and host != self.identity.host
 
     # Writing.
 
     def send(self, message: Message) -> None:
+        """Append a message to those that are written together at the end of the batch."""
         self._outgoing.append(message.encode())
 
     def batch_ended(self) -> None:
+        """Write the messages of the batch with one call, and close afterwards if that was decided."""
         if self.stream.closed():
             return
         if self._outgoing:
@@ -110,6 +117,7 @@
             self.stream.close()
 
     def origin_avps(self) -> list[Avp]:
+        """Origin-Host and Origin-Realm of this gateway."""
         return [
             codec.text_avp(AvpCode.ORIGIN_HOST, self.identity.host),
             codec.text_avp(AvpCode.ORIGIN_REALM, self.identity.realm),
@@ -126,12 +134,14 @@
     def send_fault_answer(
         self, request: Message, fault: Fault, session: Avp | None = None, extra: list[Avp] | None = None
     ) -> None:
+        """Answer a request with a fault's Result-Code, Error-Message and Failed-AVP."""
         avps = [codec.text_avp(AvpCode.ERROR_MESSAGE, fault.text, 0)]
         if fault.failed_avp:
             avps.append(Avp(AvpCode.FAILED_AVP, fault.failed_avp + b"\0" * (-len(fault.failed_avp) % 4)))
         self.send_answer(request, fault.result_code, avps + (extra or []), session)
 
     def capabilities_avps(self) -> list[Avp]:
+        """The AVPs that a CER and a CEA share."""
         return [
             *self.origin_avps(),
             codec.address_avp(self.identity.address),
@@ -180,7 +190,7 @@
                     message, Fault(ResultCode.APPLICATION_UNSUPPORTED, "not credit control")
                 )
             else:
-                self.credit_control(message, avps)
+                self.handle_credit_control(message, avps)
         elif not message.is_request:
             if message.command_code == CommandCode.DEVICE_WATCHDOG:
                 self._watchdog_pending = False
@@ -203,7 +213,7 @@
             self.send_fault_answer(message, Fault(ResultCode.COMMAND_UNSUPPORTED, "command not known"))
 
     def _exchange_capabilities(self, message: Message, avps: list[Avp] | Fault) -> None:
-        """CER or CEA: who is it, and is credit control common."""
+        """Check a CER or a CEA: the peer's identity and the common application."""
         fault: Fault | None = avps if isinstance(avps, Fault) else None
         host = ""
         if not isinstance(avps, Fault):
@@ -214,7 +224,7 @@
                 )
             else:
                 host = origin.data.decode("ascii", "replace")
-                if not self.accepts(host):
+                if not self.accepts_peer(host):
                     fault = Fault(ResultCode.UNKNOWN_PEER, "this peer is not let in")
                 elif not _common_application(avps):
                     fault = Fault(ResultCode.NO_COMMON_APPLICATION, "no credit control")
@@ -247,7 +257,7 @@
         self._loop.call_later(max(wait, 0.1), self.deliver, self._check_watchdog)
 
     def _check_watchdog(self) -> None:
-        """Nothing heard for the watchdog's time: ask; nothing after that either: the peer is gone."""
+        """Send a Device-Watchdog-Request to an idle peer; close the connection if it stays silent (RFC 3539)."""
         if self.state is not PeerState.OPEN:
             return
         if self._loop.time() - self.last_received_s < self._watchdog_s - WATCHDOG_JITTER_S:
@@ -272,7 +282,7 @@
             self.stream.close()
 
     def disconnect(self, cause: int) -> None:
-        """DPR: close when the other side has agreed, or after a while."""
+        """Send a Disconnect-Peer-Request; close on its answer, or after a timeout."""
         if self.state is not PeerState.OPEN:
             self._close_after_write = True
             return
--- /dev/null
+++ b/badgeryoke/gateway/diameter/request_register.py
@@ -0,0 +1,133 @@
+"""Remembers credit-control requests across connections and submits each to the dispatcher once."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from badgeryoke.decisions.interface import Idempotency, Settings
+from badgeryoke.gateway.actor import Actor, ActorScheduler
+from badgeryoke.gateway.attempt import Request
+from badgeryoke.gateway.config.model import DiameterConfig
+from badgeryoke.gateway.diameter import codec
+from badgeryoke.gateway.diameter.codec import AvpCode, Fault, ResultCode
+from badgeryoke.gateway.diameter.credit_control_request import CreditControlRequest
+from badgeryoke.gateway.diameter.duplicate_requests import DuplicateRequests, Entry
+from badgeryoke.gateway.dispatcher import Dispatcher
+from badgeryoke.gateway.responses import Failed, Rejected, Response
+
+CAPACITY_RETRY_AFTER_MS = (
+    1000.0  # advice where no further request can be remembered, or taken on a connection
+)
+
+
+class RequestRegister(Actor):
+    """Remembers requests across all connections and submits each to the dispatcher once."""
+
+    def __init__(
+        self,
+        config: DiameterConfig,
+        settings: Settings,
+        dispatcher: Dispatcher,
+        loop: ActorScheduler,
+        clock: Callable[[], float],
+    ) -> None:
+        super().__init__(loop)
+        self._config, self._dispatcher, self._clock = config, dispatcher, clock
+        self._duplicates = DuplicateRequests(config.answers_kept_s, loop.time)
+        self.retune(settings)
+
+    def retune(self, settings: Settings) -> None:
+        """Take the request classes and the number of gateways from new settings."""
+        self._gateways = settings.gateway_count
+        self._check_class, self._debit_class = (
+            next((c for c in settings.classes if c.idempotency is effect and name in (None, c.name)), None)
+            for effect, name in (
+                (Idempotency.IDEMPOTENT, self._config.check_class),
+                (Idempotency.WITH_KEY, self._config.debit_class),
+            )
+        )
+
+    def submit(
+        self, request: CreditControlRequest, retransmitted: bool, reply: Callable[[Response | Fault], None]
+    ) -> None:
+        """Reply with the answer of a new, a running or an answered request, or with its fault."""
+        self.post(self._submit, request, retransmitted, reply)
+
+    def _submit(
+        self, request: CreditControlRequest, retransmitted: bool, reply: Callable[[Response | Fault], None]
+    ) -> None:
+        known = self._duplicates.find(request.identity)
+        if known is DuplicateRequests.CONFLICTING:
+            reply(Fault(ResultCode.UNABLE_TO_COMPLY, "identifiers of two requests: nothing was sent"))
+        elif isinstance(known, Entry):
+            if known.answer is not None:
+                reply(known.answer)
+            else:
+                known.waiting.append(reply)
+        elif isinstance(core_request := self._core_request(request, retransmitted), Fault):
+            reply(core_request)
+        elif (entry := self._duplicates.begin(request.identity)) is None:
+            reply(Rejected(CAPACITY_RETRY_AFTER_MS))
+        else:
+            entry.waiting.append(reply)
+            # The client's connection may end before the answer: it will retry over another, so the dispatcher
+            # is not notified of the disconnection.
+            self._dispatcher.submit(
+                core_request, lambda answer: self.post(self._record_answer, entry, core_request, answer)
+            )
+
+    def _record_answer(self, entry: Entry, core_request: Request, answer: Response) -> None:
+        """Store an answer, unless nothing ran: then a repeat is as good as new.
+
+        A refusal behind an attempt that may have run is harmless only while servers know its key.  A Diameter
+        client would take TOO_BUSY for never begun, and may come back at any time: it is told that it failed.
+        """
+        if isinstance(answer, Rejected) and answer.may_have_run and core_request.idempotency_key:
+            answer = Failed("may have run")
+        if isinstance(answer, Rejected) and core_request.send_by_ms is not None:
+            answer = Failed("the first try may have run")
+        self._duplicates.end(
+            entry, answer, keep=bool(core_request.idempotency_key) and not isinstance(answer, Rejected)
+        )
+
+    def _core_request(self, request: CreditControlRequest, retransmitted: bool) -> Request | Fault:
+        """The request for the dispatcher; a fault for one that must not be forwarded."""
+        is_debit = request.action == codec.DIRECT_DEBITING
+        request_class = self._debit_class if is_debit else self._check_class
+        plan = self._config.plans.get(request.service)
+        if request_class is None or plan is None:
+            return Fault(
+                ResultCode.RATING_FAILED,
+                "no such service here",
+                codec.unsigned32_avp(AvpCode.SERVICE_IDENTIFIER, request.service).encode(),
+            )
+        send_by_ms: float | None = None
+        if is_debit and retransmitted:
+            # Only a server that still knows the key can drop it.  An event's time is in whole seconds, cut
+            # off, so the first try is at least as young as it says.
+            event_time_ms = None if request.event_time_s is None else request.event_time_s * 1000.0
+            send_by_ms = (
+                None if event_time_ms is None else event_time_ms + request_class.deduplication_window_ms
+            )
+            if event_time_ms is None or send_by_ms is None or not event_time_ms <= self._clock() < send_by_ms:
+                return Fault(
+                    ResultCode.UNABLE_TO_COMPLY,
+                    "the first try may have run, and is not known here: nothing was sent on",
+                )
+        core_request = Request(
+            id=f"{random.getrandbits(64):016x}",
+            request_class=request_class.name,
+            plan=plan,
+            customer=request.customer,
+            remaining_ms=self._config.deadline_ms or request_class.deadline_ms,
+            units=float(request.units or 1),
+            gateway_set_size=self._gateways,
+            retry=retransmitted,
+            idempotency_key=request.identity.key() if is_debit else "",
+            body=request.body,
+            send_by_ms=send_by_ms,
+        )
+        if problem := self._dispatcher.validate(core_request):
+            return Fault(ResultCode.INVALID_AVP_VALUE, problem)
+        return core_request
--- a/badgeryoke/gateway/diameter/upstream_connection.py
+++ b/badgeryoke/gateway/diameter/upstream_connection.py
@@ -4,163 +4,88 @@
 
 import asyncio
 import logging
-import zlib
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from tornado.iostream import IOStream, StreamClosedError
 
 from badgeryoke.gateway.actor import Actor, ActorScheduler
-from badgeryoke.gateway.attempt import Attempt, Request
+from badgeryoke.gateway.attempt import Attempt
 from badgeryoke.gateway.connecting import dial
 from badgeryoke.gateway.diameter import codec
-from badgeryoke.gateway.diameter.codec import Avp, AvpCode, CommandCode, Fault, Message, ResultCode
+from badgeryoke.gateway.diameter.codec import Avp, CommandCode, Fault, Message, ResultCode
 from badgeryoke.gateway.diameter.peer import Peer, PeerIdentity, PeerState
+from badgeryoke.gateway.diameter.upstream_request import encode_request, end_attempt
 
 if TYPE_CHECKING:
     from badgeryoke.gateway.cluster.upstream_lease import UpstreamLease
 
 log = logging.getLogger(__name__)
 
-SERVICE_CONTEXT = "load@badgeryoke"
 IDLE_FRACTION = 0.5  # of the settings' idle time a connection is kept
 MAX_ATTEMPTS_IN_FLIGHT = 1024  # attempts of one connection
 
 
-def session_identifiers(query: Request, realm: str) -> tuple[str, int]:
-    """Session-Id and End-to-End Id.  Of a keyed query they derive from its key alone, so that a server knows
-    the repeat that another gateway sends."""
-    mark = query.idempotency_key or query.id
-    low = zlib.crc32(mark.encode())
-    return f"{realm};{len(mark)};{low};{mark}", low
-
-
-def encode_request(
-    query: Request, me: PeerIdentity, safe: bool, service: int | None, hop_by_hop: int, repeat: bool
-) -> bytes:
-    """The CCR of an event."""
-    session, end_to_end = session_identifiers(query, me.realm)
-    avps = [
-        codec.text_avp(AvpCode.SESSION_ID, session),
-        codec.text_avp(AvpCode.ORIGIN_HOST, me.host),
-        codec.text_avp(AvpCode.ORIGIN_REALM, me.realm),
-        codec.text_avp(AvpCode.DESTINATION_REALM, me.realm),
-        codec.unsigned32_avp(AvpCode.AUTH_APPLICATION_ID, codec.CREDIT_CONTROL_APPLICATION_ID),
-        codec.text_avp(AvpCode.SERVICE_CONTEXT_ID, SERVICE_CONTEXT),
-        codec.unsigned32_avp(AvpCode.CC_REQUEST_TYPE, codec.EVENT_REQUEST),
-        codec.unsigned32_avp(AvpCode.CC_REQUEST_NUMBER, 0),
-        codec.unsigned32_avp(
-            AvpCode.REQUESTED_ACTION, codec.CHECK_BALANCE if safe else codec.DIRECT_DEBITING
-        ),
-        codec.grouped_avp(
-            AvpCode.SUBSCRIPTION_ID,
-            [
-                codec.unsigned32_avp(AvpCode.SUBSCRIPTION_ID_TYPE, codec.END_USER_PRIVATE),
-                codec.text_avp(AvpCode.SUBSCRIPTION_ID_DATA, f"{query.customer:016x}"),
-            ],
-        ),
-        codec.units_avp(AvpCode.REQUESTED_SERVICE_UNIT, query.units),
-    ]
-    if service is not None:
-        avps.append(codec.unsigned32_avp(AvpCode.SERVICE_IDENTIFIER, service))
-    if query.body is not None:
-        avps.append(codec.value_avp(query.body))
-    flags = codec.FLAG_REQUEST | codec.FLAG_PROXIABLE | (codec.FLAG_RETRANSMITTED if repeat else 0)
-    return Message(
-        flags,
-        CommandCode.CREDIT_CONTROL,
-        codec.CREDIT_CONTROL_APPLICATION_ID,
-        hop_by_hop,
-        end_to_end,
-        codec.encode_avps(avps),
-    ).encode()
-
-
-def end_attempt(execution: Attempt, avps: list[Avp] | Fault) -> str | None:
-    """End an attempt by its CCA; the result says what was malformed.
-
-    A server that is too busy never began, so the query may go elsewhere; any other failure may have run.
-    """
-    if isinstance(avps, Fault):
-        execution.failed("malformed answer")
-        return avps.text
-    code = codec.find_avp(avps, AvpCode.RESULT_CODE)
-    result = None if code is None else codec.read_unsigned32(code)
-    if result is None or isinstance(result, Fault):
-        execution.failed("malformed answer")
-        return "answer without a Result-Code"
-    if result == ResultCode.TOO_BUSY:
-        execution.rejected("DIAMETER_TOO_BUSY")
-    elif 2000 <= result < 3000:
-        value = codec.read_value(avps)
-        granted = codec.find_avp(avps, AvpCode.GRANTED_SERVICE_UNIT)
-        units = None if granted is None else codec.read_units(granted)
-        if isinstance(value, Fault) or isinstance(units, Fault):
-            execution.succeeded(b"", 0.0)
-            return "answer with unreadable units or value"
-        execution.succeeded(value or b"", float(units or 0))
-    else:
-        execution.failed(f"Result-Code {result}")
-    return None
-
-
-class _Connection(Peer):
-    """The connection, and the attempts that are out on it."""
+class UpstreamPeer(Peer):
+    """A connection to a server, and the attempts in flight on it."""
 
     expects_request = False
 
     def __init__(
         self, stream: IOStream, owner: DiameterUpstream, loop: ActorScheduler, watchdog_s: float
     ) -> None:
-        super().__init__(stream, owner.me, loop, watchdog_s)
+        super().__init__(stream, owner.identity, loop, watchdog_s)
         self._owner = owner
         self.in_flight: dict[int, Attempt] = {}
-        self._unwritten: list[Attempt] = []  # gathered in this turn
+        self._unwritten: list[Attempt] = []  # of the current batch
         self.last_used_s = loop.time()
 
     def capabilities_exchanged(self) -> None:
+        """Send the attempts that waited for the connection."""
         self._owner.post(self._owner.connection_opened, self)
 
     def connection_closed(self) -> None:
-        """What was written may have run; execution.lost() tells which was."""
+        """What was written may have run; attempt.lost() tells which was."""
         out, self.in_flight = self.in_flight, {}
-        for execution in out.values():
-            execution.on_abort = None
-            execution.connection_lost(str(self.stream.error or "connection ended"))
+        for attempt in out.values():
+            attempt.on_abort = None
+            attempt.connection_lost(str(self.stream.error or "connection ended"))
         self._owner.post(self._owner.connection_closed, self)
 
-    def write(self, execution: Attempt) -> None:
+    def write(self, attempt: Attempt) -> None:
+        """Encode an attempt's request, to be written at the end of the batch."""
         now = self._owner.clock()
         if self.state is not PeerState.OPEN or self.stream.closed():
-            execution.connection_lost("connection ended")
+            attempt.connection_lost("connection ended")
             return
-        if not execution.may_be_written(now):
-            execution.not_sent("too late to be sent")
+        if not attempt.may_be_written(now):
+            attempt.not_sent("too late to be sent")
             return
         if len(self.in_flight) >= MAX_ATTEMPTS_IN_FLIGHT:
-            execution.not_sent("too many attempts out")
+            attempt.not_sent("too many attempts out")
             return
-        query, owner = execution.request, self._owner
+        request, owner = attempt.request, self._owner
         number = self.next_id()
-        repeat = execution.potential_duplicate or (query.retry and bool(query.idempotency_key))
-        self.in_flight[number] = execution
-        execution.write_started = True
-        execution.on_abort = lambda: self.post(self._attempt_abandoned, number, execution)
-        service = owner.services.get(query.plan)
+        repeat = attempt.potential_duplicate or (request.retry and bool(request.idempotency_key))
+        self.in_flight[number] = attempt
+        attempt.write_started = True
+        attempt.on_abort = lambda: self.post(self._attempt_abandoned, number, attempt)
+        service = owner.services.get(request.plan)
         self._outgoing.append(
-            encode_request(query, self.identity, bool(query.idempotent), service, number, repeat)
+            encode_request(request, self.identity, bool(request.idempotent), service, number, repeat)
         )
-        self._unwritten.append(execution)
+        self._unwritten.append(attempt)
 
     def batch_ended(self) -> None:
+        """Write the batch and mark each attempt that was written completely."""
         batch, self._unwritten = self._unwritten, []
         super().batch_ended()
         if not batch or self.stream.closed():
             return
         stuck = self.stream.writing()
         # Of a batch that sticks half way all but the last may be out whole, and may run.
-        for execution in batch[:-1] if stuck else batch:
-            execution.written()
+        for attempt in batch[:-1] if stuck else batch:
+            attempt.written()
         if stuck:
             self._loop.call_later(0.0, self.deliver, self._check_written, batch[-1])
 
@@ -173,27 +98,28 @@
         else:
             last.written()
 
-    def _attempt_abandoned(self, number: int, execution: Attempt) -> None:
-        """Credit control has no way to take a request back.  Where the query has its final answer, a late CCA
+    def _attempt_abandoned(self, number: int, attempt: Attempt) -> None:
+        """Credit control has no way to take a request back.  Where the request has its final answer, a late CCA
         is ignored; where another attempt may follow, only closing the connection ends this one."""
-        if self.in_flight.get(number) is not execution:
+        if self.in_flight.get(number) is not attempt:
             return
         del self.in_flight[number]
-        if not execution.final:
+        if not attempt.final:
             self.stream.close()
 
-    def credit_control(self, message: Message, avps: list[Avp] | Fault) -> None:
+    def handle_credit_control(self, message: Message, avps: list[Avp] | Fault) -> None:
+        """End the attempt that a Credit-Control-Answer belongs to, by its Hop-by-Hop Identifier."""
         if message.is_request:
             self.send_fault_answer(
                 message, Fault(ResultCode.UNABLE_TO_COMPLY, "this side serves no credit control")
             )
             return
-        execution = self.in_flight.pop(message.hop_by_hop_id, None)
+        attempt = self.in_flight.pop(message.hop_by_hop_id, None)
         self.last_used_s = self._loop.time()
-        if execution is None:
+        if attempt is None:
             return  # the answer to an attempt that was abandoned
-        execution.on_abort = None
-        if fault := end_attempt(execution, avps):
+        attempt.on_abort = None
+        if fault := end_attempt(attempt, avps):
             self._owner.log_first_fault(fault)
         self.disconnect_if_drained()
 
@@ -213,7 +139,7 @@
         loop: ActorScheduler,
         clock: Callable[[], float],
         *,
-        me: PeerIdentity,
+        identity: PeerIdentity,
         services: dict[str, int],
         connect_ms: float,
         idle_ms: float,
@@ -221,39 +147,40 @@
         lease: UpstreamLease | None = None,
     ) -> None:
         super().__init__(loop)
-        self.lease = lease  # where the fleet keeps the server's limit
-        self.address, self.clock, self.me = address, clock, me
+        self.lease = lease  # enforces the connection limit that the fleet shares
+        self.address, self.clock, self.identity = address, clock, identity
         self.services = services
         self._connect_ms, self._watchdog_s = connect_ms, watchdog_s
         self._idle_s = idle_ms * IDLE_FRACTION / 1000.0
-        self._connection: _Connection | None = None
+        self._connection: UpstreamPeer | None = None
         self._waiting: list[Attempt] = []
         self.draining = False
         self._fault_logged = False
 
-    def start(self, execution: Attempt) -> None:
-        self.post(self._start, execution)
+    def start(self, attempt: Attempt) -> None:
+        """Send an attempt, over a new connection if none is open."""
+        self.post(self._start, attempt)
 
-    def _start(self, execution: Attempt) -> None:
+    def _start(self, attempt: Attempt) -> None:
         if self.draining:
-            execution.connection_lost("server is gone")
+            attempt.connection_lost("server is gone")
         elif (
             self._connection is not None
             and self._connection.state is PeerState.OPEN
             and (self.lease is None or self.lease.is_held())
         ):
-            self._connection.post(self._connection.write, execution)
+            self._connection.post(self._connection.write, attempt)
         elif len(self._waiting) >= MAX_ATTEMPTS_IN_FLIGHT:
-            execution.not_sent("too many attempts wait for the connection")
+            attempt.not_sent("too many attempts wait for the connection")
         else:
-            self._waiting.append(execution)
-            self._loop.call_later(self._connect_ms / 1000.0, self.deliver, self._connect_timed_out, execution)
+            self._waiting.append(attempt)
+            self._loop.call_later(self._connect_ms / 1000.0, self.deliver, self._connect_timed_out, attempt)
             if self._connection is None:
                 self._connect()
 
     def _connect(self) -> None:
         if self.lease is not None and not self.lease.may_open():
-            return  # whoever waits has its time
+            return  # waiting attempts have their own timeout
         try:
             stream, coming_up = (dial if self.lease is None else self.lease.dial)(
                 self.address, 4 * codec.MAX_MESSAGE_BYTES
@@ -261,13 +188,13 @@
         except OSError as fault:
             self.log_first_fault(f"no socket: {fault}")
             waiting, self._waiting = self._waiting, []
-            for execution in waiting:
-                execution.connection_lost(f"no socket: {fault}")
+            for attempt in waiting:
+                attempt.connection_lost(f"no socket: {fault}")
             return
-        connection = self._connection = _Connection(stream, self, self._loop, self._watchdog_s)
+        connection = self._connection = UpstreamPeer(stream, self, self._loop, self._watchdog_s)
         self._task = asyncio.ensure_future(self._run_connection(connection, coming_up))
 
-    async def _run_connection(self, connection: _Connection, coming_up: asyncio.Future[IOStream]) -> None:
+    async def _run_connection(self, connection: UpstreamPeer, coming_up: asyncio.Future[IOStream]) -> None:
         try:
             await coming_up
         except (StreamClosedError, OSError):
@@ -278,27 +205,29 @@
         )
         await connection.read()
 
-    def connection_opened(self, connection: _Connection) -> None:
+    def connection_opened(self, connection: UpstreamPeer) -> None:
+        """Send the attempts that waited for this connection."""
         waiting, self._waiting = self._waiting, []
-        for execution in waiting:
-            if not execution.ended:
-                connection.post(connection.write, execution)
+        for attempt in waiting:
+            if not attempt.ended:
+                connection.post(connection.write, attempt)
 
-    def connection_closed(self, connection: _Connection) -> None:
+    def connection_closed(self, connection: UpstreamPeer) -> None:
+        """Reconnect for attempts that arrived while an open connection closed; fail them otherwise."""
         if connection is not self._connection:
             return
         self._connection = None
         if connection.origin_host and self._waiting and not self.draining:
-            self._connect()  # it had been open, and was closed while these came
+            self._connect()  # an open connection closed while these attempts arrived
             return
         waiting, self._waiting = self._waiting, []
-        for execution in waiting:
-            execution.connection_lost(str(connection.stream.error or "no connection"))
+        for attempt in waiting:
+            attempt.connection_lost(str(connection.stream.error or "no connection"))
 
-    def _connect_timed_out(self, execution: Attempt) -> None:
-        if execution in self._waiting:
-            self._waiting.remove(execution)
-            execution.connection_lost("no connection in time")
+    def _connect_timed_out(self, attempt: Attempt) -> None:
+        if attempt in self._waiting:
+            self._waiting.remove(attempt)
+            attempt.connection_lost("no connection in time")
 
     @property
     def connections_needed(self) -> int:
@@ -323,13 +252,13 @@
             self._connect()
 
     def log_first_fault(self, words: str) -> None:
-        """Log a server's fault once."""
+        """Log the first fault of a server; later ones are not logged."""
         if not self._fault_logged:
             self._fault_logged = True
             log.warning("server %s:%d %s", *self.address, words)
 
     def sweep(self) -> None:
-        """Part from a server that has not been needed for long; called now and then."""
+        """Disconnect from an idle server; called periodically."""
         connection = self._connection
         if (
             connection is not None
@@ -340,17 +269,19 @@
             connection.post(connection.disconnect, codec.DO_NOT_WANT_TO_TALK_TO_YOU)
 
     def drain(self) -> None:
+        """Accept no further attempts, and disconnect once none is in flight."""
         self.post(self._drain_now)
 
     def _drain_now(self) -> None:
         self.draining = True
         waiting, self._waiting = self._waiting, []
-        for execution in waiting:
-            execution.connection_lost("server is draining")
+        for attempt in waiting:
+            attempt.connection_lost("server is draining")
         if self._connection is not None:
             self._connection.post(self._connection.disconnect_if_drained)
 
     def reopen(self) -> None:
+        """Accept attempts again."""
         self.post(self._reopen)
 
     def _reopen(self) -> None:
--- /dev/null
+++ b/badgeryoke/gateway/diameter/upstream_request.py
@@ -0,0 +1,99 @@
+"""Encodes the Credit-Control-Request of an attempt and ends the attempt by its answer (RFC 8506)."""
+
+from __future__ import annotations
+
+import zlib
+from typing import TYPE_CHECKING
+
+from badgeryoke.gateway.attempt import Attempt, Request
+from badgeryoke.gateway.diameter import codec
+from badgeryoke.gateway.diameter.codec import Avp, AvpCode, CommandCode, Fault, Message, ResultCode
+from badgeryoke.gateway.diameter.peer import PeerIdentity
+
+if TYPE_CHECKING:
+    pass
+
+
+SERVICE_CONTEXT = "load@badgeryoke"
+
+
+def session_identifiers(request: Request, realm: str) -> tuple[str, int]:
+    """Session-Id and End-to-End Id.  Of a keyed request they derive from its key alone, so that a server knows
+    the repeat that another gateway sends."""
+    mark = request.idempotency_key or request.id
+    low = zlib.crc32(mark.encode())
+    return f"{realm};{len(mark)};{low};{mark}", low
+
+
+def encode_request(
+    request: Request,
+    identity: PeerIdentity,
+    idempotent: bool,
+    service: int | None,
+    hop_by_hop: int,
+    retransmitted: bool,
+) -> bytes:
+    """The CCR of an event."""
+    session, end_to_end = session_identifiers(request, identity.realm)
+    avps = [
+        codec.text_avp(AvpCode.SESSION_ID, session),
+        codec.text_avp(AvpCode.ORIGIN_HOST, identity.host),
+        codec.text_avp(AvpCode.ORIGIN_REALM, identity.realm),
+        codec.text_avp(AvpCode.DESTINATION_REALM, identity.realm),
+        codec.unsigned32_avp(AvpCode.AUTH_APPLICATION_ID, codec.CREDIT_CONTROL_APPLICATION_ID),
+        codec.text_avp(AvpCode.SERVICE_CONTEXT_ID, SERVICE_CONTEXT),
+        codec.unsigned32_avp(AvpCode.CC_REQUEST_TYPE, codec.EVENT_REQUEST),
+        codec.unsigned32_avp(AvpCode.CC_REQUEST_NUMBER, 0),
+        codec.unsigned32_avp(
+            AvpCode.REQUESTED_ACTION, codec.CHECK_BALANCE if idempotent else codec.DIRECT_DEBITING
+        ),
+        codec.grouped_avp(
+            AvpCode.SUBSCRIPTION_ID,
+            [
+                codec.unsigned32_avp(AvpCode.SUBSCRIPTION_ID_TYPE, codec.END_USER_PRIVATE),
+                codec.text_avp(AvpCode.SUBSCRIPTION_ID_DATA, f"{request.customer:016x}"),
+            ],
+        ),
+        codec.units_avp(AvpCode.REQUESTED_SERVICE_UNIT, request.units),
+    ]
+    if service is not None:
+        avps.append(codec.unsigned32_avp(AvpCode.SERVICE_IDENTIFIER, service))
+    if request.body is not None:
+        avps.append(codec.value_avp(request.body))
+    flags = codec.FLAG_REQUEST | codec.FLAG_PROXIABLE | (codec.FLAG_RETRANSMITTED if retransmitted else 0)
+    return Message(
+        flags,
+        CommandCode.CREDIT_CONTROL,
+        codec.CREDIT_CONTROL_APPLICATION_ID,
+        hop_by_hop,
+        end_to_end,
+        codec.encode_avps(avps),
+    ).encode()
+
+
+def end_attempt(attempt: Attempt, avps: list[Avp] | Fault) -> str | None:
+    """End an attempt by its CCA; the result says what was malformed.
+
+    A server that is too busy never began, so the request may go elsewhere; any other failure may have run.
+    """
+    if isinstance(avps, Fault):
+        attempt.failed("malformed answer")
+        return avps.text
+    code = codec.find_avp(avps, AvpCode.RESULT_CODE)
+    result = None if code is None else codec.read_unsigned32(code)
+    if result is None or isinstance(result, Fault):
+        attempt.failed("malformed answer")
+        return "answer without a Result-Code"
+    if result == ResultCode.TOO_BUSY:
+        attempt.rejected("DIAMETER_TOO_BUSY")
+    elif 2000 <= result < 3000:
+        value = codec.read_value(avps)
+        granted = codec.find_avp(avps, AvpCode.GRANTED_SERVICE_UNIT)
+        units = None if granted is None else codec.read_units(granted)
+        if isinstance(value, Fault) or isinstance(units, Fault):
+            attempt.succeeded(b"", 0.0)
+            return "answer with unreadable units or value"
+        attempt.succeeded(value or b"", float(units or 0))
+    else:
+        attempt.failed(f"Result-Code {result}")
+    return None
--- a/badgeryoke/gateway/parts.py
+++ b/badgeryoke/gateway/parts.py
@@ -11,7 +11,7 @@
 from badgeryoke.decisions.interface import CounterReply, EndpointList, Verdict
 from badgeryoke.gateway.actor import ActorScheduler
 from badgeryoke.gateway.config.model import Config
-from badgeryoke.gateway.diameter.client_connection import DiameterListener
+from badgeryoke.gateway.diameter.listener import DiameterListener
 from badgeryoke.gateway.diameter.peer import PeerIdentity
 from badgeryoke.gateway.discovery.client import DiscoveryClient
 from badgeryoke.gateway.discovery.endpoint_list import Endpoint
--- a/badgeryoke/gateway/upstream_directory.py
+++ b/badgeryoke/gateway/upstream_directory.py
@@ -114,7 +114,7 @@
             endpoint.address,
             self._loop,
             self._clock,
-            me=self._identity,
+            identity=self._identity,
             services=self._diameter_services,
             connect_ms=self._config.connect_ms,
             idle_ms=self._config.idle_ms,
--- a/tests/gateway/diameter/test_diameter.py
+++ b/tests/gateway/diameter/test_diameter.py
@@ -522,13 +522,13 @@
         ("127.0.0.1", 1),
         loop,
         lambda: 0.0,
-        me=me,
+        identity=me,
         services={},
         connect_ms=100.0,
         idle_ms=100.0,
         watchdog_s=30.0,
     )
-    connection = upstream_connection._Connection(cast(IOStream, Stuck()), owner, loop, 30.0)
+    connection = upstream_connection.UpstreamPeer(cast(IOStream, Stuck()), owner, loop, 30.0)
     connection.state = PeerState.OPEN
     ends: dict[str, Verdict] = {}
     for name in ("first", "second", "last"):
--- a/tests/gateway/diameter/test_golden_diameter.py
+++ b/tests/gateway/diameter/test_golden_diameter.py
@@ -11,7 +11,7 @@
 
 from badgeryoke.gateway.actor import ActorScheduler
 from badgeryoke.gateway.attempt import Attempt, AttemptEnd, Request
-from badgeryoke.gateway.diameter import codec, upstream_connection
+from badgeryoke.gateway.diameter import codec, upstream_request
 from badgeryoke.gateway.diameter.codec import Avp, AvpCode, CommandCode, Message
 from badgeryoke.gateway.diameter.peer import Peer, PeerIdentity
 from tests.gateway.diameter.test_diameter import CLOSED, FAULTS
@@ -60,7 +60,7 @@
 def requests() -> list[tuple[str, bytes]]:
     """The CCR of each query."""
     return [
-        (name, upstream_connection.encode_request(asked, ME, safe, service, FIRST_ID + place, repeat))
+        (name, upstream_request.encode_request(asked, ME, safe, service, FIRST_ID + place, repeat))
         for place, (name, asked, safe, service, repeat) in enumerate(CCRS)
     ]
 
@@ -105,7 +105,7 @@
         ends: list[AttemptEnd] = []
         execution = Attempt(CCRS[0][1], 0, 1, NOW_MS, NOW_MS + 900.0, lambda _, end: ends.append(end))  # noqa: B023
         execution.written()
-        complaint = upstream_connection.end_attempt(execution, reply)
+        complaint = upstream_request.end_attempt(execution, reply)
         lines.append(f"{name}: {canonical((ends, complaint))}")
     return lines
 
--- a/tests/support/connection_leases.py
+++ b/tests/support/connection_leases.py
@@ -55,7 +55,7 @@
                 (HOST, port),
                 self.scheduler,
                 boot_time_ms,
-                me=PeerIdentity("g", "r", HOST, 1),
+                identity=PeerIdentity("g", "r", HOST, 1),
                 services={},
                 connect_ms=LONG_CONNECT_TIMEOUT_MS,
                 idle_ms=30_000.0,
