Split the Diameter dictionary from the codec and name tests in protocol terms

Cause: codec.py mixed code tables with encoding; the base protocol's dispatch was one function of 45 lines; test names needed the house's wording to be understood. Change: dictionary and capabilities are modules; Peer answers base requests and reads base answers in functions of their own, in the same order of checks; tests renamed, ids for two parametrised tests.

--- a/badgeryoke/gateway/diameter/client_connection.py
+++ b/badgeryoke/gateway/diameter/client_connection.py
@@ -7,8 +7,9 @@
 from tornado.iostream import IOStream
 
 from badgeryoke.gateway.diameter import codec
-from badgeryoke.gateway.diameter.codec import Avp, AvpCode, Fault, Message, ResultCode
+from badgeryoke.gateway.diameter.codec import Avp, Fault, Message
 from badgeryoke.gateway.diameter.credit_control_request import CreditControlRequest, read_request
+from badgeryoke.gateway.diameter.dictionary import AvpCode, ResultCode
 from badgeryoke.gateway.diameter.peer import Peer
 from badgeryoke.gateway.diameter.request_register import CAPACITY_RETRY_AFTER_MS
 from badgeryoke.gateway.responses import Failed, Rejected, Response, Served
--- a/badgeryoke/gateway/diameter/credit_control_request.py
+++ b/badgeryoke/gateway/diameter/credit_control_request.py
@@ -6,7 +6,8 @@
 
 from badgeryoke.gateway.attempt import parse_customer
 from badgeryoke.gateway.diameter import codec
-from badgeryoke.gateway.diameter.codec import Avp, AvpCode, Fault, Message, ResultCode
+from badgeryoke.gateway.diameter.codec import Avp, Fault, Message
+from badgeryoke.gateway.diameter.dictionary import AvpCode, ResultCode
 from badgeryoke.gateway.diameter.duplicate_requests import RequestIdentity
 
 # The AVPs that a Credit-Control-Request may hold with the M bit set; any other so marked is rejected.
--- a/badgeryoke/gateway/diameter/peer.py
+++ b/badgeryoke/gateway/diameter/peer.py
@@ -12,7 +12,9 @@
 from badgeryoke.gateway.actor import Actor, ActorScheduler
 from badgeryoke.gateway.connecting import on_close, pump
 from badgeryoke.gateway.diameter import codec
-from badgeryoke.gateway.diameter.codec import Avp, AvpCode, CommandCode, Fault, Message, ResultCode
+from badgeryoke.gateway.diameter.capabilities import has_common_application
+from badgeryoke.gateway.diameter.codec import Avp, Fault, Message
+from badgeryoke.gateway.diameter.dictionary import AvpCode, CommandCode, ResultCode
 
 log = logging.getLogger(__name__)
 
@@ -123,6 +125,9 @@
             codec.text_avp(AvpCode.ORIGIN_REALM, self.identity.realm),
         ]
 
+    def _origin_state_avp(self) -> Avp:
+        return codec.unsigned32_avp(AvpCode.ORIGIN_STATE_ID, self.identity.origin_state_id)
+
     def send_answer(
         self, request: Message, result: int, extra: list[Avp], session: Avp | None = None
     ) -> None:
@@ -147,7 +152,7 @@
             codec.address_avp(self.identity.address),
             codec.unsigned32_avp(AvpCode.VENDOR_ID, 0),
             codec.text_avp(AvpCode.PRODUCT_NAME, "badgeryoke", 0),
-            codec.unsigned32_avp(AvpCode.ORIGIN_STATE_ID, self.identity.origin_state_id),
+            self._origin_state_avp(),
             codec.unsigned32_avp(AvpCode.AUTH_APPLICATION_ID, codec.CREDIT_CONTROL_APPLICATION_ID),
         ]
 
@@ -192,18 +197,21 @@
             else:
                 self.handle_credit_control(message, avps)
         elif not message.is_request:
-            if message.command_code == CommandCode.DEVICE_WATCHDOG:
-                self._watchdog_pending = False
-            elif message.command_code == CommandCode.DISCONNECT_PEER:
-                self._close_after_write = True
+            self._handle_base_answer(message)
         elif isinstance(avps, Fault):
             self.send_fault_answer(message, avps)
-        elif message.command_code == CommandCode.DEVICE_WATCHDOG:
-            self.send_answer(
-                message,
-                ResultCode.SUCCESS,
-                [codec.unsigned32_avp(AvpCode.ORIGIN_STATE_ID, self.identity.origin_state_id)],
-            )
+        else:
+            self._answer_base_request(message)
+
+    def _handle_base_answer(self, message: Message) -> None:
+        if message.command_code == CommandCode.DEVICE_WATCHDOG:
+            self._watchdog_pending = False
+        elif message.command_code == CommandCode.DISCONNECT_PEER:
+            self._close_after_write = True
+
+    def _answer_base_request(self, message: Message) -> None:
+        if message.command_code == CommandCode.DEVICE_WATCHDOG:
+            self.send_answer(message, ResultCode.SUCCESS, [self._origin_state_avp()])
         elif message.command_code == CommandCode.DISCONNECT_PEER:
             self.send_answer(message, ResultCode.SUCCESS, [])
             self.state, self._close_after_write = PeerState.CLOSING, True
@@ -212,27 +220,28 @@
         else:
             self.send_fault_answer(message, Fault(ResultCode.COMMAND_UNSUPPORTED, "command not known"))
 
+    def _check_capabilities(self, message: Message, avps: list[Avp] | Fault) -> tuple[str, Fault | None]:
+        """The Origin-Host of a CER or a CEA, and what forbids to open the connection."""
+        if isinstance(avps, Fault):
+            return "", avps
+        origin = codec.find_avp(avps, AvpCode.ORIGIN_HOST)
+        if origin is None:
+            return "", Fault(ResultCode.MISSING_AVP, "no Origin-Host", Avp(AvpCode.ORIGIN_HOST, b"").encode())
+        host = origin.data.decode("ascii", "replace")
+        if not self.accepts_peer(host):
+            return host, Fault(ResultCode.UNKNOWN_PEER, "this peer is not let in")
+        if not has_common_application(avps):
+            return host, Fault(ResultCode.NO_COMMON_APPLICATION, "no credit control")
+        if not message.is_request:
+            code = codec.find_avp(avps, AvpCode.RESULT_CODE)
+            result = None if code is None else codec.read_unsigned32(code)
+            if result != ResultCode.SUCCESS:
+                return host, Fault(ResultCode.UNKNOWN_PEER, f"exchange refused with {result}")
+        return host, None
+
     def _exchange_capabilities(self, message: Message, avps: list[Avp] | Fault) -> None:
-        """Check a CER or a CEA: the peer's identity and the common application."""
-        fault: Fault | None = avps if isinstance(avps, Fault) else None
-        host = ""
-        if not isinstance(avps, Fault):
-            origin = codec.find_avp(avps, AvpCode.ORIGIN_HOST)
-            if origin is None:
-                fault = Fault(
-                    ResultCode.MISSING_AVP, "no Origin-Host", Avp(AvpCode.ORIGIN_HOST, b"").encode()
-                )
-            else:
-                host = origin.data.decode("ascii", "replace")
-                if not self.accepts_peer(host):
-                    fault = Fault(ResultCode.UNKNOWN_PEER, "this peer is not let in")
-                elif not _common_application(avps):
-                    fault = Fault(ResultCode.NO_COMMON_APPLICATION, "no credit control")
-            if not message.is_request and fault is None:
-                code = codec.find_avp(avps, AvpCode.RESULT_CODE)
-                result = None if code is None else codec.read_unsigned32(code)
-                if result != ResultCode.SUCCESS:
-                    fault = Fault(ResultCode.UNKNOWN_PEER, f"exchange refused with {result}")
+        """Open the connection by a CER or a CEA, or close it."""
+        host, fault = self._check_capabilities(message, avps)
         if fault is not None:
             log.warning("peer %.80r: capabilities exchange failed: %s", host, fault.text)
             if message.is_request:
@@ -270,10 +279,7 @@
             self._watchdog_pending = True
             self.send_request(
                 CommandCode.DEVICE_WATCHDOG,
-                [
-                    *self.origin_avps(),
-                    codec.unsigned32_avp(AvpCode.ORIGIN_STATE_ID, self.identity.origin_state_id),
-                ],
+                [*self.origin_avps(), self._origin_state_avp()],
             )
         self._schedule_watchdog()
 
@@ -300,19 +306,3 @@
             log.warning("peer %s: connection ended inside a message", self.origin_host or "?")
         self.state = PeerState.CLOSED
         self.connection_closed()
-
-
-def _common_application(avps: list[Avp]) -> bool:
-    for avp in avps:
-        inner = [avp]
-        if avp.code == AvpCode.VENDOR_SPECIFIC_APPLICATION_ID and not avp.vendor_id:
-            read = codec.read_avps(avp.data)
-            inner = [] if isinstance(read, Fault) else read
-        for part in inner:
-            ours = part.code == AvpCode.AUTH_APPLICATION_ID and not part.vendor_id
-            if ours and codec.read_unsigned32(part) in (
-                codec.CREDIT_CONTROL_APPLICATION_ID,
-                codec.RELAY_APPLICATION_ID,
-            ):
-                return True
-    return False
--- a/badgeryoke/gateway/diameter/request_register.py
+++ b/badgeryoke/gateway/diameter/request_register.py
@@ -10,8 +10,9 @@
 from badgeryoke.gateway.attempt import Request
 from badgeryoke.gateway.config.model import DiameterConfig
 from badgeryoke.gateway.diameter import codec
-from badgeryoke.gateway.diameter.codec import AvpCode, Fault, ResultCode
+from badgeryoke.gateway.diameter.codec import Fault
 from badgeryoke.gateway.diameter.credit_control_request import CreditControlRequest
+from badgeryoke.gateway.diameter.dictionary import AvpCode, ResultCode
 from badgeryoke.gateway.diameter.duplicate_requests import DuplicateRequests, Entry
 from badgeryoke.gateway.dispatcher import Dispatcher
 from badgeryoke.gateway.responses import Failed, Rejected, Response
--- a/badgeryoke/gateway/diameter/upstream_connection.py
+++ b/badgeryoke/gateway/diameter/upstream_connection.py
@@ -13,7 +13,8 @@
 from badgeryoke.gateway.attempt import Attempt
 from badgeryoke.gateway.connecting import dial
 from badgeryoke.gateway.diameter import codec
-from badgeryoke.gateway.diameter.codec import Avp, CommandCode, Fault, Message, ResultCode
+from badgeryoke.gateway.diameter.codec import Avp, Fault, Message
+from badgeryoke.gateway.diameter.dictionary import CommandCode, ResultCode
 from badgeryoke.gateway.diameter.peer import Peer, PeerIdentity, PeerState
 from badgeryoke.gateway.diameter.upstream_request import encode_request, end_attempt
 
--- a/badgeryoke/gateway/diameter/upstream_request.py
+++ b/badgeryoke/gateway/diameter/upstream_request.py
@@ -7,7 +7,8 @@
 
 from badgeryoke.gateway.attempt import Attempt, Request
 from badgeryoke.gateway.diameter import codec
-from badgeryoke.gateway.diameter.codec import Avp, AvpCode, CommandCode, Fault, Message, ResultCode
+from badgeryoke.gateway.diameter.codec import Avp, Fault, Message
+from badgeryoke.gateway.diameter.dictionary import AvpCode, CommandCode, ResultCode
 from badgeryoke.gateway.diameter.peer import PeerIdentity
 
 if TYPE_CHECKING:
--- a/tests/gateway/diameter/test_diameter.py
+++ b/tests/gateway/diameter/test_diameter.py
@@ -80,7 +80,7 @@
     return [await read_message(peer[0]) for _ in sent]
 
 
-def test_an_event_is_served_and_answered_in_standard_terms() -> None:
+def test_an_event_request_is_served_with_the_standard_avps() -> None:
     async def test(app: GatewayApplication, node: Backend) -> None:
         peer = await open_peer(app)
         proxy = avp(284, avp(280, "p") + avp(33, "state"))
@@ -104,8 +104,9 @@
 @pytest.mark.parametrize(
     ("check", "debit", "sent"),
     [(None, None, ["read", "write"]), ("list", "pay", ["list", "pay"]), ("gone", "gone", [])],
+    ids=["first class of each kind", "classes by name", "unknown classes"],
 )
-def test_the_classes_of_an_event_are_those_that_the_file_names(
+def test_an_event_takes_the_request_class_of_the_configuration(
     check: str | None, debit: str | None, sent: list[str]
 ) -> None:
     async def test() -> None:
@@ -159,7 +160,7 @@
 
 
 @pytest.mark.parametrize(("sent", "result"), FAULTS)
-def test_what_cannot_be_served_gets_its_result_code_and_is_not_sent(sent: bytes, result: int) -> None:
+def test_an_invalid_request_gets_its_result_code_and_is_not_forwarded(sent: bytes, result: int) -> None:
     async def test(app: GatewayApplication, node: Backend) -> None:
         peer = await open_peer(app)
         [got] = await call(peer, sent)
@@ -173,7 +174,7 @@
     with_gateway(test)
 
 
-def test_a_repeat_inside_the_window_is_sent_with_the_key_of_its_identity() -> None:
+def test_a_retransmission_within_the_deduplication_window_is_forwarded_as_a_retry() -> None:
     async def test(app: GatewayApplication, node: Backend) -> None:
         peer = await open_peer(app)
         [got] = await call(peer, ccr(9, flags=0xD0, extra=event_time(NOW_MS)))
@@ -192,7 +193,7 @@
 
 
 @pytest.mark.parametrize(("sent", "result"), CLOSED)
-def test_a_message_that_cannot_be_framed_costs_its_own_connection(sent: bytes, result: int | None) -> None:
+def test_a_framing_error_closes_only_its_own_connection(sent: bytes, result: int | None) -> None:
     async def test(app: GatewayApplication, node: Backend) -> None:
         other, peer = await open_peer(app), await open_peer(app)
         peer[1].write(sent)
@@ -218,7 +219,9 @@
 
 
 @pytest.mark.parametrize(("sent", "result"), WRONG)
-def test_a_wrong_peer_is_told_and_closed(sent: bytes, result: int | None) -> None:
+def test_a_failed_capabilities_exchange_is_answered_and_the_connection_closed(
+    sent: bytes, result: int | None
+) -> None:
     async def test(app: GatewayApplication, node: Backend) -> None:
         reader, writer = await connect(app.lifecycle.diameter_address)
         writer.write(sent)
@@ -241,7 +244,7 @@
     with_gateway(test)
 
 
-def test_at_the_end_a_client_gets_its_answer_and_then_a_dpr() -> None:
+def test_on_shutdown_a_client_gets_its_answer_before_the_disconnect_peer_request() -> None:
     async def test(app: GatewayApplication, node: Backend) -> None:
         peer = await open_peer(app)
         peer[1].write(ccr(9))
@@ -257,7 +260,7 @@
     with_gateway(test, script=[None])
 
 
-def test_a_retry_over_a_new_connection_joins_the_running_query() -> None:
+def test_a_retransmission_over_a_new_connection_joins_the_request_in_flight() -> None:
     """The first connection breaks after the debit was sent on: one execution answers the retry too."""
 
     async def test(app: GatewayApplication, node: Backend) -> None:
@@ -280,7 +283,7 @@
     with_gateway(test, script=[None])
 
 
-def test_identifiers_of_two_requests_are_not_sent_on() -> None:
+def test_conflicting_identifiers_are_not_forwarded() -> None:
     async def test(app: GatewayApplication, node: Backend) -> None:
         peer = await open_peer(app)
         results = [
@@ -298,7 +301,7 @@
     with_gateway(test)
 
 
-def test_a_refusal_says_when_to_come_back_and_is_forgotten() -> None:
+def test_a_rejection_carries_retry_after_and_is_not_cached() -> None:
     async def test(app: GatewayApplication, node: Backend) -> None:
         peer = await open_peer(app)
         got = [(await call(peer, ccr(n, service=2, units=6)))[0] for n in range(4)]
@@ -312,7 +315,7 @@
     with_gateway(test)
 
 
-def test_a_client_not_on_the_list_is_unknown() -> None:
+def test_a_client_that_is_not_configured_is_an_unknown_peer() -> None:
     async def test() -> None:
         made = config(1, None, diameter=True)
         assert made.diameter is not None
@@ -335,7 +338,7 @@
 
 
 @pytest.mark.parametrize(("cls", "script", "answer", "sent"), SERVER_ANSWERS)
-def test_what_a_diameter_server_answers_becomes_an_outcome(
+def test_the_result_code_of_a_server_decides_the_outcome(
     cls: str, script: list[int | None], answer: Any, sent: int
 ) -> None:
     async def test(app: GatewayApplication, node: DiameterServer) -> None:
@@ -353,8 +356,10 @@
     with_gateway(test, "diameter", script)
 
 
-@pytest.mark.parametrize(("action", "result"), [(0, 5012), (2, 3004)])
-def test_a_silent_server_costs_no_request_its_answer(action: int, result: int) -> None:
+@pytest.mark.parametrize(
+    ("action", "result"), [(0, 5012), (2, 3004)], ids=["direct debiting", "balance check"]
+)
+def test_a_request_to_a_silent_server_is_answered_by_its_deadline(action: int, result: int) -> None:
     """A debit that may have run is failed, and so is its repeat; a check never harms, and is refused."""
     classes = tuple(replace(cls, latency_objective_ms=1000.0, deadline_ms=1000.0) for cls in (SAFE, KEYED))
 
@@ -376,7 +381,7 @@
     play(test)
 
 
-def test_a_silent_peer_is_asked_and_then_closed() -> None:
+def test_a_silent_peer_gets_a_watchdog_request_and_is_then_closed() -> None:
     """RFC 3539: a DWR after silence, the end of the connection after more."""
 
     class Stream:
@@ -410,7 +415,7 @@
     assert stream.over
 
 
-def test_a_diameter_server_that_leaves_is_parted_from_once_it_has_answered() -> None:
+def test_a_draining_server_is_disconnected_once_it_has_answered() -> None:
     async def test() -> None:
         async with one_gateway(kind="diameter", diameter=True) as (app, node, list_):
             assert await ask(app, query()) == [b"value"]
@@ -423,7 +428,7 @@
     play(test)
 
 
-def test_a_lost_diameter_server_may_have_run_what_was_written() -> None:
+def test_a_written_request_may_have_run_when_the_connection_is_lost() -> None:
     async def test(app: GatewayApplication, node: DiameterServer) -> None:
         reader, writer = await connect(app.lifecycle.address)
         writer.write(query("r", "load-send", key="5c0f6e1a2b3d4c59"))
@@ -502,7 +507,7 @@
     play(test)
 
 
-def test_of_a_batch_that_sticks_half_way_all_but_the_last_may_have_run() -> None:
+def test_all_but_the_last_of_a_partly_written_batch_may_have_run() -> None:
     """A break counted as proof that none of them ran: those written whole were sent again elsewhere."""
 
     class Stuck:
@@ -542,7 +547,7 @@
     assert ends == {"first": Verdict.RESET, "second": Verdict.RESET, "last": Verdict.CONNECT_FAILED}
 
 
-def test_more_requests_than_a_connection_may_have_are_told_when_to_come_back(
+def test_requests_over_the_in_flight_limit_are_rejected_with_retry_after(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     monkeypatch.setattr(client_connection, "MAX_REQUESTS_IN_FLIGHT", 1)
--- a/tests/gateway/diameter/test_golden_diameter.py
+++ b/tests/gateway/diameter/test_golden_diameter.py
@@ -12,7 +12,8 @@
 from badgeryoke.gateway.actor import ActorScheduler
 from badgeryoke.gateway.attempt import Attempt, AttemptEnd, Request
 from badgeryoke.gateway.diameter import codec, upstream_request
-from badgeryoke.gateway.diameter.codec import Avp, AvpCode, CommandCode, Message
+from badgeryoke.gateway.diameter.codec import Avp, Message
+from badgeryoke.gateway.diameter.dictionary import AvpCode, CommandCode
 from badgeryoke.gateway.diameter.peer import Peer, PeerIdentity
 from tests.gateway.diameter.test_diameter import CLOSED, FAULTS
 from tests.support.canonical import canonical
@@ -65,11 +66,11 @@
     ]
 
 
-def test_each_query_becomes_the_golden_request() -> None:
+def test_each_request_is_encoded_as_the_golden_bytes() -> None:
     assert_golden(REQUESTS, hex_lines(requests()))
 
 
-def test_a_golden_request_is_read_back_whole() -> None:
+def test_a_golden_request_decodes_to_its_avps() -> None:
     for _, data in requests():
         [read] = codec.Framer().feed(data)
         assert read.encode() == data and read.command_code == CommandCode.CREDIT_CONTROL
@@ -110,7 +111,7 @@
     return lines
 
 
-def test_each_answer_ends_an_attempt_in_the_golden_way() -> None:
+def test_each_answer_ends_its_attempt_as_the_golden_file_says() -> None:
     assert_golden(SETTLED, text_lines(settled()))
 
 
@@ -213,7 +214,7 @@
     return found
 
 
-def test_the_base_protocol_is_the_golden_one() -> None:
+def test_the_base_protocol_matches_the_golden_bytes() -> None:
     assert_golden(PEER, hex_lines([*opened_side(), *opening_side(), *refused_exchanges()]))
 
 
@@ -274,7 +275,7 @@
     assert_golden(ANSWERS, hex_lines(answers()))
 
 
-def test_messages_are_made_as_the_standard_has_them() -> None:
+def test_messages_are_encoded_as_the_standard_specifies() -> None:
     """The codec against the independent one of the stand-ins."""
     made = Message(
         codec.FLAG_REQUEST,
