Split the answers and the retransmission check of Diameter clients into functions

Change: _retransmission_deadline_ms, _served_avps and capabilities.check_capabilities, with the same checks in the same order.

--- a/badgeryoke/gateway/diameter/capabilities.py
+++ b/badgeryoke/gateway/diameter/capabilities.py
@@ -1,10 +1,34 @@
-"""Finds the application that both sides of a capabilities exchange support (RFC 6733, 5.3)."""
+"""Checks a CER or a CEA: the peer's identity and the common application (RFC 6733, 5.3)."""
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from badgeryoke.gateway.diameter import codec
-from badgeryoke.gateway.diameter.codec import Avp, Fault
-from badgeryoke.gateway.diameter.dictionary import AvpCode
+from badgeryoke.gateway.diameter.codec import Avp, Fault, Message
+from badgeryoke.gateway.diameter.dictionary import AvpCode, ResultCode
+
+
+def check_capabilities(
+    message: Message, avps: list[Avp] | Fault, accepts_peer: Callable[[str], bool]
+) -> tuple[str, Fault | None]:
+    """The Origin-Host of a CER or a CEA, and what forbids to open the connection."""
+    if isinstance(avps, Fault):
+        return "", avps
+    origin = codec.find_avp(avps, AvpCode.ORIGIN_HOST)
+    if origin is None:
+        return "", Fault(ResultCode.MISSING_AVP, "no Origin-Host", Avp(AvpCode.ORIGIN_HOST, b"").encode())
+    host = origin.data.decode("ascii", "replace")
+    if not accepts_peer(host):
+        return host, Fault(ResultCode.UNKNOWN_PEER, "this peer is not let in")
+    if not has_common_application(avps):
+        return host, Fault(ResultCode.NO_COMMON_APPLICATION, "no credit control")
+    if not message.is_request:
+        code = codec.find_avp(avps, AvpCode.RESULT_CODE)
+        result = None if code is None else codec.read_unsigned32(code)
+        if result != ResultCode.SUCCESS:
+            return host, Fault(ResultCode.UNKNOWN_PEER, f"exchange refused with {result}")
+    return host, None
 
 
 def has_common_application(avps: list[Avp]) -> bool:
--- a/badgeryoke/gateway/diameter/client_connection.py
+++ b/badgeryoke/gateway/diameter/client_connection.py
@@ -17,6 +17,7 @@
 if TYPE_CHECKING:
     from badgeryoke.gateway.diameter.listener import DiameterListener
 
+ENOUGH_CREDIT = 0  # Check-Balance-Result
 MAX_REQUESTS_IN_FLIGHT = 1024  # requests of one connection that wait for their answers
 
 
@@ -85,19 +86,8 @@
         match answer:
             case Fault():
                 self.send_fault_answer(message, answer, session, extra)
-            case Served(value=value, true_units=units):
-                avps = [
-                    codec.unsigned32_avp(AvpCode.AUTH_APPLICATION_ID, codec.CREDIT_CONTROL_APPLICATION_ID),
-                    codec.unsigned32_avp(AvpCode.CC_REQUEST_TYPE, codec.EVENT_REQUEST),
-                    codec.unsigned32_avp(AvpCode.CC_REQUEST_NUMBER, request.identity.request_number),
-                ]
-                if request.action == codec.CHECK_BALANCE:
-                    avps.append(codec.unsigned32_avp(AvpCode.CHECK_BALANCE_RESULT, 0))  # ENOUGH_CREDIT
-                else:
-                    granted = units or float(request.units or 1)
-                    avps.append(codec.units_avp(AvpCode.GRANTED_SERVICE_UNIT, granted))
-                if value:
-                    avps.append(codec.value_avp(value))
+            case Served():
+                avps = _served_avps(request, answer)
                 self.send_answer(message, ResultCode.SUCCESS, [*avps, *extra], session)
             case Rejected(retry_after_ms=wait):
                 self.send_fault_answer(
@@ -123,3 +113,19 @@
     def connection_closed(self) -> None:
         """Release the connection's place at the listener."""
         self._listener.connection_closed(self)
+
+
+def _served_avps(request: CreditControlRequest, answer: Served) -> list[Avp]:
+    avps = [
+        codec.unsigned32_avp(AvpCode.AUTH_APPLICATION_ID, codec.CREDIT_CONTROL_APPLICATION_ID),
+        codec.unsigned32_avp(AvpCode.CC_REQUEST_TYPE, codec.EVENT_REQUEST),
+        codec.unsigned32_avp(AvpCode.CC_REQUEST_NUMBER, request.identity.request_number),
+    ]
+    if request.action == codec.CHECK_BALANCE:
+        avps.append(codec.unsigned32_avp(AvpCode.CHECK_BALANCE_RESULT, ENOUGH_CREDIT))
+    else:
+        granted = answer.true_units or float(request.units or 1)
+        avps.append(codec.units_avp(AvpCode.GRANTED_SERVICE_UNIT, granted))
+    if answer.value:
+        avps.append(codec.value_avp(answer.value))
+    return avps
--- a/badgeryoke/gateway/diameter/peer.py
+++ b/badgeryoke/gateway/diameter/peer.py
@@ -12,7 +12,7 @@
 from badgeryoke.gateway.actor import Actor, ActorScheduler
 from badgeryoke.gateway.connecting import on_close, pump
 from badgeryoke.gateway.diameter import codec
-from badgeryoke.gateway.diameter.capabilities import has_common_application
+from badgeryoke.gateway.diameter.capabilities import check_capabilities
 from badgeryoke.gateway.diameter.codec import Avp, Fault, Message
 from badgeryoke.gateway.diameter.dictionary import AvpCode, CommandCode, ResultCode
 
@@ -220,28 +220,9 @@
         else:
             self.send_fault_answer(message, Fault(ResultCode.COMMAND_UNSUPPORTED, "command not known"))
 
-    def _check_capabilities(self, message: Message, avps: list[Avp] | Fault) -> tuple[str, Fault | None]:
-        """The Origin-Host of a CER or a CEA, and what forbids to open the connection."""
-        if isinstance(avps, Fault):
-            return "", avps
-        origin = codec.find_avp(avps, AvpCode.ORIGIN_HOST)
-        if origin is None:
-            return "", Fault(ResultCode.MISSING_AVP, "no Origin-Host", Avp(AvpCode.ORIGIN_HOST, b"").encode())
-        host = origin.data.decode("ascii", "replace")
-        if not self.accepts_peer(host):
-            return host, Fault(ResultCode.UNKNOWN_PEER, "this peer is not let in")
-        if not has_common_application(avps):
-            return host, Fault(ResultCode.NO_COMMON_APPLICATION, "no credit control")
-        if not message.is_request:
-            code = codec.find_avp(avps, AvpCode.RESULT_CODE)
-            result = None if code is None else codec.read_unsigned32(code)
-            if result != ResultCode.SUCCESS:
-                return host, Fault(ResultCode.UNKNOWN_PEER, f"exchange refused with {result}")
-        return host, None
-
     def _exchange_capabilities(self, message: Message, avps: list[Avp] | Fault) -> None:
         """Open the connection by a CER or a CEA, or close it."""
-        host, fault = self._check_capabilities(message, avps)
+        host, fault = check_capabilities(message, avps, self.accepts_peer)
         if fault is not None:
             log.warning("peer %.80r: capabilities exchange failed: %s", host, fault.text)
             if message.is_request:
--- a/badgeryoke/gateway/diameter/request_register.py
+++ b/badgeryoke/gateway/diameter/request_register.py
@@ -5,7 +5,7 @@
 import random
 from collections.abc import Callable
 
-from badgeryoke.decisions.interface import Idempotency, Settings
+from badgeryoke.decisions.interface import Idempotency, RequestClass, Settings
 from badgeryoke.gateway.actor import Actor, ActorScheduler
 from badgeryoke.gateway.attempt import Request
 from badgeryoke.gateway.config.model import DiameterConfig
@@ -17,9 +17,8 @@
 from badgeryoke.gateway.dispatcher import Dispatcher
 from badgeryoke.gateway.responses import Failed, Rejected, Response
 
-CAPACITY_RETRY_AFTER_MS = (
-    1000.0  # advice where no further request can be remembered, or taken on a connection
-)
+# The Retry-After of a rejection because the register, or the connection, is at its limit.
+CAPACITY_RETRY_AFTER_MS = 1000.0
 
 
 class RequestRegister(Actor):
@@ -79,10 +78,11 @@
             )
 
     def _record_answer(self, entry: Entry, core_request: Request, answer: Response) -> None:
-        """Store an answer, unless nothing ran: then a repeat is as good as new.
+        """Cache an answer, unless nothing ran: then a retransmission is handled as a new request.
 
-        A refusal behind an attempt that may have run is harmless only while servers know its key.  A Diameter
-        client would take TOO_BUSY for never begun, and may come back at any time: it is told that it failed.
+        A rejection after an attempt that may have run is harmless only while servers know its idempotency key.
+        A Diameter client would take TOO_BUSY to mean that nothing ran, and may retry at any time: the answer
+        is a failure instead.
         """
         if isinstance(answer, Rejected) and answer.may_have_run and core_request.idempotency_key:
             answer = Failed("may have run")
@@ -105,17 +105,10 @@
             )
         send_by_ms: float | None = None
         if is_debit and retransmitted:
-            # Only a server that still knows the key can drop it.  An event's time is in whole seconds, cut
-            # off, so the first try is at least as young as it says.
-            event_time_ms = None if request.event_time_s is None else request.event_time_s * 1000.0
-            send_by_ms = (
-                None if event_time_ms is None else event_time_ms + request_class.deduplication_window_ms
-            )
-            if event_time_ms is None or send_by_ms is None or not event_time_ms <= self._clock() < send_by_ms:
-                return Fault(
-                    ResultCode.UNABLE_TO_COMPLY,
-                    "the first try may have run, and is not known here: nothing was sent on",
-                )
+            deadline = self._retransmission_deadline_ms(request, request_class)
+            if isinstance(deadline, Fault):
+                return deadline
+            send_by_ms = deadline
         core_request = Request(
             id=f"{random.getrandbits(64):016x}",
             request_class=request_class.name,
@@ -132,3 +125,21 @@
         if problem := self._dispatcher.validate(core_request):
             return Fault(ResultCode.INVALID_AVP_VALUE, problem)
         return core_request
+
+    def _retransmission_deadline_ms(
+        self, request: CreditControlRequest, request_class: RequestClass
+    ) -> float | Fault:
+        """Until when a debit of an unknown first attempt may be forwarded under its idempotency key.
+
+        Only a server that still knows the key can drop the duplicate.  An Event-Timestamp is truncated to
+        whole seconds, so that the first attempt is at least as young as it says.
+        """
+        event_time_ms = None if request.event_time_s is None else request.event_time_s * 1000.0
+        if event_time_ms is not None:
+            send_by_ms = event_time_ms + request_class.deduplication_window_ms
+            if event_time_ms <= self._clock() < send_by_ms:
+                return send_by_ms
+        return Fault(
+            ResultCode.UNABLE_TO_COMPLY,
+            "the first try may have run, and is not known here: nothing was sent on",
+        )
