Name the locals and comments of the Diameter package in protocol terms

Cause: locals such as stuck, mark, low, coming_up and comments in the house's wording. Change: renames of locals, parameters and private fields; docstrings and comments in ordinary technical English; one constant a line.

--- a/badgeryoke/gateway/diameter/codec.py
+++ b/badgeryoke/gateway/diameter/codec.py
@@ -13,18 +13,19 @@
 from badgeryoke.gateway.diameter.dictionary import AvpCode, ResultCode
 
 HEADER_BYTES = 20
-MAX_MESSAGE_BYTES = 96 * 1024  # a value of 64 KiB and what goes with it
-MAX_AVPS = 128  # of one message, or of one group
-FLAG_REQUEST, FLAG_PROXIABLE, FLAG_ERROR, FLAG_RETRANSMITTED = (
-    0x80,
-    0x40,
-    0x20,
-    0x10,
-)  # command flags; T is RETRANSMIT
-AVP_FLAG_VENDOR, AVP_FLAG_MANDATORY = 0x80, 0x40  # AVP flags
-CREDIT_CONTROL_APPLICATION_ID, RELAY_APPLICATION_ID = 4, 0xFFFFFFFF  # applications
-NTP_EPOCH_OFFSET_S = 2_208_988_800  # Unix time 0 in Diameter's Time
-
+MAX_MESSAGE_BYTES = 96 * 1024  # a value of 64 KiB and the other AVPs
+MAX_AVPS = 128  # of one message, or of one Grouped AVP
+# Command flags: the R, P, E and T bits.
+FLAG_REQUEST = 0x80
+FLAG_PROXIABLE = 0x40
+FLAG_ERROR = 0x20
+FLAG_RETRANSMITTED = 0x10
+# AVP flags: the V and M bits.
+AVP_FLAG_VENDOR = 0x80
+AVP_FLAG_MANDATORY = 0x40
+CREDIT_CONTROL_APPLICATION_ID = 4
+RELAY_APPLICATION_ID = 0xFFFFFFFF
+NTP_EPOCH_OFFSET_S = 2_208_988_800  # the Unix epoch as a value of the type Time
 
 EVENT_REQUEST = 4  # CC-Request-Type
 DIRECT_DEBITING, CHECK_BALANCE = 0, 2  # Requested-Action
@@ -44,10 +45,15 @@
     def encode(self) -> bytes:
         """The AVP with its header and padding."""
         flags = self.flags | AVP_FLAG_VENDOR if self.vendor_id else self.flags & ~AVP_FLAG_VENDOR
-        extra = struct.pack(">I", self.vendor_id) if self.vendor_id else b""
-        length = 8 + len(extra) + len(self.data)
+        vendor_id_field = struct.pack(">I", self.vendor_id) if self.vendor_id else b""
+        length = 8 + len(vendor_id_field) + len(self.data)
         return b"".join(
-            (struct.pack(">II", self.code, flags << 24 | length), extra, self.data, b"\0" * (-length % 4))
+            (
+                struct.pack(">II", self.code, flags << 24 | length),
+                vendor_id_field,
+                self.data,
+                b"\0" * (-length % 4),
+            )
         )
 
 
@@ -106,9 +112,9 @@
 class Framer:
     """Splits a byte stream into messages."""
 
-    def __init__(self, max_message: int = MAX_MESSAGE_BYTES) -> None:
+    def __init__(self, max_message_bytes: int = MAX_MESSAGE_BYTES) -> None:
         self._buffer = bytearray()
-        self._max = max_message
+        self._max_message_bytes = max_message_bytes
         # After this nothing can be read: the fault, and the header it is about.
         self.fault: tuple[Fault, Message] | None = None
 
@@ -126,12 +132,20 @@
         buffer += data
         offset = 0
         while len(buffer) - offset >= HEADER_BYTES:
-            first, second, application, hop, end = struct.unpack_from(">IIIII", buffer, offset)
-            length = first & 0xFFFFFF
-            header = Message(second >> 24, second & 0xFFFFFF, application, hop, end)
-            if first >> 24 != 1:
+            version_and_length, flags_and_command_code, application_id, hop_by_hop_id, end_to_end_id = (
+                struct.unpack_from(">IIIII", buffer, offset)
+            )
+            length = version_and_length & 0xFFFFFF
+            header = Message(
+                flags_and_command_code >> 24,
+                flags_and_command_code & 0xFFFFFF,
+                application_id,
+                hop_by_hop_id,
+                end_to_end_id,
+            )
+            if version_and_length >> 24 != 1:
                 self.fault = Fault(ResultCode.UNSUPPORTED_VERSION, "version is not 1"), header
-            elif length < HEADER_BYTES or length % 4 or length > self._max:
+            elif length < HEADER_BYTES or length % 4 or length > self._max_message_bytes:
                 self.fault = Fault(ResultCode.INVALID_MESSAGE_LENGTH, f"message length {length}"), header
             if self.fault is not None:
                 buffer.clear()
@@ -142,9 +156,9 @@
                 Message(
                     header.flags,
                     header.command_code,
-                    application,
-                    hop,
-                    end,
+                    application_id,
+                    hop_by_hop_id,
+                    end_to_end_id,
                     bytes(buffer[offset + HEADER_BYTES : offset + length]),
                 )
             )
@@ -177,9 +191,9 @@
             )
         if len(avps) >= MAX_AVPS:
             return Fault(ResultCode.UNABLE_TO_COMPLY, "too many AVPs")
-        vendor = struct.unpack_from(">I", body, offset + 8)[0] if header_bytes == 12 else 0
+        vendor_id = struct.unpack_from(">I", body, offset + 8)[0] if header_bytes == 12 else 0
         avps.append(
-            Avp(code, body[offset + header_bytes : offset + length], flags & ~AVP_FLAG_VENDOR, vendor)
+            Avp(code, body[offset + header_bytes : offset + length], flags & ~AVP_FLAG_VENDOR, vendor_id)
         )
         offset += length + (-length % 4)
     return avps
--- a/badgeryoke/gateway/diameter/credit_control_request.py
+++ b/badgeryoke/gateway/diameter/credit_control_request.py
@@ -92,20 +92,20 @@
     inner = codec.read_avps(avp.data)
     if isinstance(inner, Fault):
         return inner
-    kind, data = (
+    type_avp, data_avp = (
         codec.find_avp(inner, AvpCode.SUBSCRIPTION_ID_TYPE),
         codec.find_avp(inner, AvpCode.SUBSCRIPTION_ID_DATA),
     )
-    if kind is None or data is None:
-        return _missing(AvpCode.SUBSCRIPTION_ID_TYPE if kind is None else AvpCode.SUBSCRIPTION_ID_DATA)
-    number = codec.read_unsigned32(kind)
-    if isinstance(number, Fault):
-        return number
+    if type_avp is None or data_avp is None:
+        return _missing(AvpCode.SUBSCRIPTION_ID_TYPE if type_avp is None else AvpCode.SUBSCRIPTION_ID_DATA)
+    subscription_type = codec.read_unsigned32(type_avp)
+    if isinstance(subscription_type, Fault):
+        return subscription_type
     try:
-        if number == codec.END_USER_PRIVATE:
-            return parse_customer(data.data)
-        if number == codec.END_USER_E164 and data.data.isdigit():
-            return parse_customer(b"%016x" % int(data.data[:16]))
+        if subscription_type == codec.END_USER_PRIVATE:
+            return parse_customer(data_avp.data)
+        if subscription_type == codec.END_USER_E164 and data_avp.data.isdigit():
+            return parse_customer(b"%016x" % int(data_avp.data[:16]))
     except ValueError:
         pass
     return _invalid(avp, "unknown subscriber", ResultCode.USER_UNKNOWN)
--- a/badgeryoke/gateway/diameter/duplicate_requests.py
+++ b/badgeryoke/gateway/diameter/duplicate_requests.py
@@ -1,4 +1,4 @@
-"""Which credit-control requests were seen, so that one sent again is answered once and charged once."""
+"""Detects duplicate credit-control requests, so that a retransmission is not charged again."""
 
 from __future__ import annotations
 
@@ -16,8 +16,10 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestIdentity:
-    """What a retransmission repeats unchanged: RFC 6733's Origin-Host and End-to-End Id, RFC 8506's Session-Id and
-    CC-Request-Number."""
+    """The identifiers that a retransmission repeats unchanged.
+
+    RFC 6733: Origin-Host and End-to-End Identifier; RFC 8506: Session-Id and CC-Request-Number.
+    """
 
     origin_host: str
     end_to_end_id: int
@@ -25,7 +27,7 @@
     request_number: int
 
     def key(self) -> str:
-        """The key for servers: derived from the identity alone, so that every gateway derives the same."""
+        """The idempotency key for servers: derived from the identity alone, so that every gateway derives the same."""
         parts = (self.origin_host, str(self.end_to_end_id), self.session_id, str(self.request_number))
         whole = b"".join(b"%d:%b" % (len(part.encode()), part.encode()) for part in parts)
         return hashlib.sha256(whole).hexdigest()[:16]
@@ -33,7 +35,7 @@
 
 @dataclass(slots=True)
 class Entry:
-    """One request: running, with those who wait for its answer, or answered."""
+    """One request: in flight, with the callbacks that wait for its answer, or answered."""
 
     identity: RequestIdentity
     waiting: list[Callable[[Response], None]] = field(default_factory=list)
@@ -41,64 +43,70 @@
 
 
 class _Conflicting:
-    """Stands for two different requests."""
+    """The type of a result that stands for two different requests."""
 
 
 class DuplicateRequests:
-    """The requests of the last minutes, found by either half of their identity."""
+    """The recent requests, indexed by both pairs of identifiers."""
 
     CONFLICTING = _Conflicting()
 
-    def __init__(self, keep_s: float, now: Callable[[], float], most: int = MAX_REQUESTS) -> None:
-        self._keep_s, self._now, self._most = keep_s, now, most
-        self._by_host: dict[tuple[str, int], Entry] = {}
+    def __init__(
+        self, retention_s: float, now: Callable[[], float], max_requests: int = MAX_REQUESTS
+    ) -> None:
+        self._retention_s, self._now, self._max_requests = retention_s, now, max_requests
+        self._by_end_to_end_id: dict[tuple[str, int], Entry] = {}
         self._by_session: dict[tuple[str, str, int], Entry] = {}
-        self._ended: deque[tuple[float, Entry]] = deque()
-        self._bytes = 0  # of the cached values
+        self._answered: deque[tuple[float, Entry]] = deque()
+        self._value_bytes = 0  # of the cached values
 
     def find(self, identity: RequestIdentity) -> Entry | _Conflicting | None:
-        """The request that this one repeats; None for a new one; MIXED where the halves do not agree, as when
+        """The request that this one repeats; None for a new one; CONFLICTING where the halves do not agree, as when
         a client gives one CC-Request-Number to two requests."""
-        self._forget()
-        by_host = self._by_host.get((identity.origin_host, identity.end_to_end_id))
+        self._expire()
+        by_end_to_end_id = self._by_end_to_end_id.get((identity.origin_host, identity.end_to_end_id))
         by_session = self._by_session.get(
             (identity.origin_host, identity.session_id, identity.request_number)
         )
-        if by_host is None and by_session is None:
+        if by_end_to_end_id is None and by_session is None:
             return None
-        return by_host if by_host is by_session and by_host is not None else self.CONFLICTING
+        return (
+            by_end_to_end_id
+            if by_end_to_end_id is by_session and by_end_to_end_id is not None
+            else self.CONFLICTING
+        )
 
     def begin(self, identity: RequestIdentity) -> Entry | None:
         """Remember a new request; None where a limit is reached."""
-        if len(self._by_host) >= self._most or self._bytes >= MAX_VALUE_BYTES:
+        if len(self._by_end_to_end_id) >= self._max_requests or self._value_bytes >= MAX_VALUE_BYTES:
             return None
         entry = Entry(identity)
-        self._by_host[identity.origin_host, identity.end_to_end_id] = entry
+        self._by_end_to_end_id[identity.origin_host, identity.end_to_end_id] = entry
         self._by_session[identity.origin_host, identity.session_id, identity.request_number] = entry
         return entry
 
     def end(self, entry: Entry, answer: Response, keep: bool) -> None:
-        """Keep the answer for those who repeat it, or forget a request that never ran."""
+        """Cache the answer for retransmissions, or remove a request that never ran."""
         entry.answer = answer
         waiting, entry.waiting = entry.waiting, []
         if keep:
-            self._bytes += _size(answer)
-            self._ended.append((self._now() + self._keep_s, entry))
+            self._value_bytes += _size(answer)
+            self._answered.append((self._now() + self._retention_s, entry))
         else:
-            self._drop(entry)
-        for give in waiting:
-            give(answer)
+            self._remove(entry)
+        for reply in waiting:
+            reply(answer)
 
-    def _forget(self) -> None:
+    def _expire(self) -> None:
         now = self._now()
-        while self._ended and self._ended[0][0] <= now:
-            entry = self._ended.popleft()[1]
-            self._bytes -= _size(entry.answer)
-            self._drop(entry)
+        while self._answered and self._answered[0][0] <= now:
+            entry = self._answered.popleft()[1]
+            self._value_bytes -= _size(entry.answer)
+            self._remove(entry)
 
-    def _drop(self, entry: Entry) -> None:
+    def _remove(self, entry: Entry) -> None:
         identity = entry.identity
-        self._by_host.pop((identity.origin_host, identity.end_to_end_id), None)
+        self._by_end_to_end_id.pop((identity.origin_host, identity.end_to_end_id), None)
         self._by_session.pop((identity.origin_host, identity.session_id, identity.request_number), None)
 
 
--- a/badgeryoke/gateway/diameter/peer.py
+++ b/badgeryoke/gateway/diameter/peer.py
@@ -100,9 +100,9 @@
         if self.stream.closed():
             return
         if self._outgoing:
-            out, self._outgoing = b"".join(self._outgoing), []
+            data, self._outgoing = b"".join(self._outgoing), []
             try:
-                self.stream.write(out)
+                self.stream.write(data)
             except StreamClosedError:
                 return
             except Exception as fault:  # the write buffer's bound
@@ -170,10 +170,10 @@
                 return
             self._dispatch(message)
         if self._framer.fault is not None and not self._close_after_write:
-            fault, head = self._framer.fault
+            fault, header = self._framer.fault
             log.warning("peer %s: %s, connection closed", self.origin_host or "?", fault.text)
-            if head.is_request and self.state is PeerState.OPEN:
-                self.send_fault_answer(head, fault)
+            if header.is_request and self.state is PeerState.OPEN:
+                self.send_fault_answer(header, fault)
             self._close_after_write = True
 
     def _dispatch(self, message: Message) -> None:
@@ -243,8 +243,8 @@
     # Time.
 
     def _schedule_watchdog(self) -> None:
-        wait = self._watchdog_s + random.uniform(-WATCHDOG_JITTER_S, WATCHDOG_JITTER_S)
-        self._loop.call_later(max(wait, 0.1), self.deliver, self._check_watchdog)
+        delay_s = self._watchdog_s + random.uniform(-WATCHDOG_JITTER_S, WATCHDOG_JITTER_S)
+        self._loop.call_later(max(delay_s, 0.1), self.deliver, self._check_watchdog)
 
     def _check_watchdog(self) -> None:
         """Send a Device-Watchdog-Request to an idle peer; close the connection if it stays silent (RFC 3539)."""
--- a/badgeryoke/gateway/diameter/upstream_connection.py
+++ b/badgeryoke/gateway/diameter/upstream_connection.py
@@ -1,4 +1,4 @@
-"""A Diameter server as a backend: one connection, requests matched by Hop-by-Hop Id (RFC 6733, RFC 8506)."""
+"""A Diameter server as a backend: one connection, answers matched by Hop-by-Hop Identifier (RFC 6733, RFC 8506)."""
 
 from __future__ import annotations
 
@@ -23,7 +23,7 @@
 
 log = logging.getLogger(__name__)
 
-IDLE_FRACTION = 0.5  # of the settings' idle time a connection is kept
+IDLE_FRACTION = 0.5  # of the idle timeout in the settings
 MAX_ATTEMPTS_IN_FLIGHT = 1024  # attempts of one connection
 
 
@@ -46,9 +46,9 @@
         self._owner.post(self._owner.connection_opened, self)
 
     def connection_closed(self) -> None:
-        """What was written may have run; attempt.lost() tells which was."""
-        out, self.in_flight = self.in_flight, {}
-        for attempt in out.values():
+        """Fail the attempts in flight; each knows whether it was written, and so may have run."""
+        in_flight, self.in_flight = self.in_flight, {}
+        for attempt in in_flight.values():
             attempt.on_abort = None
             attempt.connection_lost(str(self.stream.error or "connection ended"))
         self._owner.post(self._owner.connection_closed, self)
@@ -66,14 +66,16 @@
             attempt.not_sent("too many attempts out")
             return
         request, owner = attempt.request, self._owner
-        number = self.next_id()
-        repeat = attempt.potential_duplicate or (request.retry and bool(request.idempotency_key))
-        self.in_flight[number] = attempt
+        hop_by_hop_id = self.next_id()
+        retransmitted = attempt.potential_duplicate or (request.retry and bool(request.idempotency_key))
+        self.in_flight[hop_by_hop_id] = attempt
         attempt.write_started = True
-        attempt.on_abort = lambda: self.post(self._attempt_abandoned, number, attempt)
+        attempt.on_abort = lambda: self.post(self._attempt_abandoned, hop_by_hop_id, attempt)
         service = owner.services.get(request.plan)
         self._outgoing.append(
-            encode_request(request, self.identity, bool(request.idempotent), service, number, repeat)
+            encode_request(
+                request, self.identity, bool(request.idempotent), service, hop_by_hop_id, retransmitted
+            )
         )
         self._unwritten.append(attempt)
 
@@ -83,15 +85,15 @@
         super().batch_ended()
         if not batch or self.stream.closed():
             return
-        stuck = self.stream.writing()
-        # Of a batch that sticks half way all but the last may be out whole, and may run.
-        for attempt in batch[:-1] if stuck else batch:
+        partly_written = self.stream.writing()
+        # All but the last message of a partly written batch may have been sent completely, and may run.
+        for attempt in batch[:-1] if partly_written else batch:
             attempt.written()
-        if stuck:
+        if partly_written:
             self._loop.call_later(0.0, self.deliver, self._check_written, batch[-1])
 
     def _check_written(self, last: Attempt) -> None:
-        """Written whole once nothing waits in the stream; a break before that proves that it never ran."""
+        """Mark the last attempt written once the stream is flushed; if it closes earlier, it never ran."""
         if self.stream.closed():
             return
         if self.stream.writing():
@@ -99,12 +101,15 @@
         else:
             last.written()
 
-    def _attempt_abandoned(self, number: int, attempt: Attempt) -> None:
-        """Credit control has no way to take a request back.  Where the request has its final answer, a late CCA
-        is ignored; where another attempt may follow, only closing the connection ends this one."""
-        if self.in_flight.get(number) is not attempt:
+    def _attempt_abandoned(self, hop_by_hop_id: int, attempt: Attempt) -> None:
+        """Forget an abandoned attempt: credit control has no request to cancel another.
+
+        Where the request has its final answer, a late CCA is ignored; where another attempt may follow, only
+        closing the connection ends this one.
+        """
+        if self.in_flight.get(hop_by_hop_id) is not attempt:
             return
-        del self.in_flight[number]
+        del self.in_flight[hop_by_hop_id]
         if not attempt.final:
             self.stream.close()
 
@@ -125,14 +130,16 @@
         self.disconnect_if_drained()
 
     def disconnect_if_drained(self) -> None:
-        """Leave a server that drains or is gone, once it owes nothing: the watchdog would hold the connection
-        for good."""
+        """Disconnect from a draining server once no attempt is in flight.
+
+        The watchdog would keep the connection open forever.
+        """
         if self._owner.draining and not self.in_flight and self.state is PeerState.OPEN:
             self.disconnect(codec.DO_NOT_WANT_TO_TALK_TO_YOU)
 
 
 class DiameterUpstream(Actor):
-    """One Diameter server: connected when first needed, and again when needed after a loss."""
+    """One Diameter server: connected on demand, and again on demand after a connection loss."""
 
     def __init__(
         self,
@@ -183,7 +190,7 @@
         if self.lease is not None and not self.lease.may_open():
             return  # waiting attempts have their own timeout
         try:
-            stream, coming_up = (dial if self.lease is None else self.lease.dial)(
+            stream, connecting = (dial if self.lease is None else self.lease.dial)(
                 self.address, 4 * codec.MAX_MESSAGE_BYTES
             )
         except OSError as fault:
@@ -193,11 +200,11 @@
                 attempt.connection_lost(f"no socket: {fault}")
             return
         connection = self._connection = UpstreamPeer(stream, self, self._loop, self._watchdog_s)
-        self._task = asyncio.ensure_future(self._run_connection(connection, coming_up))
+        self._task = asyncio.ensure_future(self._run_connection(connection, connecting))
 
-    async def _run_connection(self, connection: UpstreamPeer, coming_up: asyncio.Future[IOStream]) -> None:
+    async def _run_connection(self, connection: UpstreamPeer, connecting: asyncio.Future[IOStream]) -> None:
         try:
-            await coming_up
+            await connecting
         except (StreamClosedError, OSError):
             connection.stream.close()
             return
@@ -239,9 +246,9 @@
         """See badgeryoke.gateway.cluster.upstream_lease.LeasedUpstream."""
         self.post(self._close_connection, include_in_use)
 
-    def _close_connection(self, all_: bool) -> None:
+    def _close_connection(self, include_in_use: bool) -> None:
         connection = self._connection
-        if connection is not None and (all_ or not connection.in_flight):
+        if connection is not None and (include_in_use or not connection.in_flight):
             connection.stream.close()
 
     def capacity_available(self) -> None:
@@ -252,11 +259,11 @@
         if self._waiting and self._connection is None and not self.draining:
             self._connect()
 
-    def log_first_fault(self, words: str) -> None:
+    def log_first_fault(self, description: str) -> None:
         """Log the first fault of a server; later ones are not logged."""
         if not self._fault_logged:
             self._fault_logged = True
-            log.warning("server %s:%d %s", *self.address, words)
+            log.warning("server %s:%d %s", *self.address, description)
 
     def sweep(self) -> None:
         """Disconnect from an idle server; called periodically."""
--- a/badgeryoke/gateway/diameter/upstream_request.py
+++ b/badgeryoke/gateway/diameter/upstream_request.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import zlib
-from typing import TYPE_CHECKING
 
 from badgeryoke.gateway.attempt import Attempt, Request
 from badgeryoke.gateway.diameter import codec
@@ -11,19 +10,18 @@
 from badgeryoke.gateway.diameter.dictionary import AvpCode, CommandCode, ResultCode
 from badgeryoke.gateway.diameter.peer import PeerIdentity
 
-if TYPE_CHECKING:
-    pass
-
-
 SERVICE_CONTEXT = "load@badgeryoke"
 
 
 def session_identifiers(request: Request, realm: str) -> tuple[str, int]:
-    """Session-Id and End-to-End Id.  Of a keyed request they derive from its key alone, so that a server knows
-    the repeat that another gateway sends."""
-    mark = request.idempotency_key or request.id
-    low = zlib.crc32(mark.encode())
-    return f"{realm};{len(mark)};{low};{mark}", low
+    """Session-Id and End-to-End Identifier.
+
+    With an idempotency key they derive from the key alone, so that a server recognizes the duplicate that
+    another gateway sends.
+    """
+    identifier = request.idempotency_key or request.id
+    checksum = zlib.crc32(identifier.encode())
+    return f"{realm};{len(identifier)};{checksum};{identifier}", checksum
 
 
 def encode_request(
@@ -31,13 +29,13 @@
     identity: PeerIdentity,
     idempotent: bool,
     service: int | None,
-    hop_by_hop: int,
+    hop_by_hop_id: int,
     retransmitted: bool,
 ) -> bytes:
-    """The CCR of an event."""
-    session, end_to_end = session_identifiers(request, identity.realm)
+    """The Credit-Control-Request of an event."""
+    session_id, end_to_end_id = session_identifiers(request, identity.realm)
     avps = [
-        codec.text_avp(AvpCode.SESSION_ID, session),
+        codec.text_avp(AvpCode.SESSION_ID, session_id),
         codec.text_avp(AvpCode.ORIGIN_HOST, identity.host),
         codec.text_avp(AvpCode.ORIGIN_REALM, identity.realm),
         codec.text_avp(AvpCode.DESTINATION_REALM, identity.realm),
@@ -66,8 +64,8 @@
         flags,
         CommandCode.CREDIT_CONTROL,
         codec.CREDIT_CONTROL_APPLICATION_ID,
-        hop_by_hop,
-        end_to_end,
+        hop_by_hop_id,
+        end_to_end_id,
         codec.encode_avps(avps),
     ).encode()
 
@@ -75,7 +73,8 @@
 def end_attempt(attempt: Attempt, avps: list[Avp] | Fault) -> str | None:
     """End an attempt by its CCA; the result says what was malformed.
 
-    A server that is too busy never began, so the request may go elsewhere; any other failure may have run.
+    A server that is too busy ran nothing, so another server may be tried; after any other failure the request
+    may have run.
     """
     if isinstance(avps, Fault):
         attempt.failed("malformed answer")
--- a/tests/gateway/test_parsers.py
+++ b/tests/gateway/test_parsers.py
@@ -309,7 +309,7 @@
 
 def test_answers_are_cached_for_their_time_and_within_bounds() -> None:
     at = [0.0]
-    repeats = DuplicateRequests(240.0, lambda: at[0], most=1)
+    repeats = DuplicateRequests(240.0, lambda: at[0], max_requests=1)
     from badgeryoke.gateway.responses import Failed
 
     first = RequestIdentity("h", 1, "s", 0)
