--- a/badgeryoke/gateway/diameter/client_connection.py
+++ b/badgeryoke/gateway/diameter/client_connection.py
@@ -43,21 +43,23 @@
             self.send_fault_answer(message, avps)
             return
         session = codec.find_avp(avps, AvpCode.SESSION_ID)
-        extra = [avp for avp in avps if avp.code == AvpCode.PROXY_INFO and not avp.vendor_id]
+        proxy_avps = [avp for avp in avps if avp.code == AvpCode.PROXY_INFO and not avp.vendor_id]
         fault = self._check_destination(avps)
         request = read_request(message, avps) if fault is None else fault
         if isinstance(request, Fault):
-            self.send_fault_answer(message, request, session, extra)
+            self.send_fault_answer(message, request, session, proxy_avps)
         elif self._in_flight_count >= MAX_REQUESTS_IN_FLIGHT:
             self._in_flight_count += 1  # decremented with the answer
-            self._send_response(message, request, session, extra, Rejected(CAPACITY_RETRY_AFTER_MS))
+            self._send_response(message, request, session, proxy_avps, Rejected(CAPACITY_RETRY_AFTER_MS))
         else:
-            asked = request
+            submitted = request
             self._in_flight_count += 1
             self._listener.register.submit(
-                asked,
+                submitted,
                 bool(message.flags & codec.FLAG_RETRANSMITTED),
-                lambda answer: self.post(self._send_response, message, asked, session, extra, answer),
+                lambda answer: self.post(
+                    self._send_response, message, submitted, session, proxy_avps, answer
+                ),
             )
 
     def _check_destination(self, avps: list[Avp]) -> Fault | None:
@@ -77,7 +79,7 @@
         message: Message,
         request: CreditControlRequest,
         session: Avp | None,
-        extra: list[Avp],
+        proxy_avps: list[Avp],
         answer: Response | Fault,
     ) -> None:
         self._in_flight_count -= 1
@@ -85,19 +87,21 @@
             return
         match answer:
             case Fault():
-                self.send_fault_answer(message, answer, session, extra)
+                self.send_fault_answer(message, answer, session, proxy_avps)
             case Served():
                 avps = _served_avps(request, answer)
-                self.send_answer(message, ResultCode.SUCCESS, [*avps, *extra], session)
+                self.send_answer(message, ResultCode.SUCCESS, [*avps, *proxy_avps], session)
             case Rejected(retry_after_ms=wait):
                 self.send_fault_answer(
                     message,
                     Fault(ResultCode.TOO_BUSY, f"retry after {max(round(wait), 1)} ms"),
                     session,
-                    extra,
+                    proxy_avps,
                 )
             case Failed(detail=detail):
-                self.send_fault_answer(message, Fault(ResultCode.UNABLE_TO_COMPLY, detail), session, extra)
+                self.send_fault_answer(
+                    message, Fault(ResultCode.UNABLE_TO_COMPLY, detail), session, proxy_avps
+                )
         if self._draining and not self._in_flight_count:
             self.disconnect(codec.REBOOTING)
 
--- a/badgeryoke/gateway/diameter/duplicate_requests.py
+++ b/badgeryoke/gateway/diameter/duplicate_requests.py
@@ -29,8 +29,8 @@
     def key(self) -> str:
         """The idempotency key for servers: derived from the identity alone, so that every gateway derives the same."""
         parts = (self.origin_host, str(self.end_to_end_id), self.session_id, str(self.request_number))
-        whole = b"".join(b"%d:%b" % (len(part.encode()), part.encode()) for part in parts)
-        return hashlib.sha256(whole).hexdigest()[:16]
+        serialized = b"".join(b"%d:%b" % (len(part.encode()), part.encode()) for part in parts)
+        return hashlib.sha256(serialized).hexdigest()[:16]
 
 
 @dataclass(slots=True)
