--- a/badgeryoke/gateway/diameter/codec.py
+++ b/badgeryoke/gateway/diameter/codec.py
@@ -1,4 +1,4 @@
-"""Diameter messages (RFC 6733) and credit control's AVPs (RFC 8506): read piece by piece, written whole.
+"""Codec of Diameter messages (RFC 6733) and of the AVPs of credit control (RFC 8506).
 
 A fault in a message is a value that carries the Result-Code and the AVP it is about.
 """
@@ -9,89 +9,23 @@
 import struct
 from collections.abc import Iterable
 from dataclasses import dataclass
-from enum import IntEnum
-
-HEADER = 20
-MAX_MESSAGE = 96 * 1024  # a value of 64 KiB and what goes with it
-MAX_AVPS = 128  # of one message, or of one group
-REQUEST, PROXIABLE, ERROR, RETRANSMIT = 0x80, 0x40, 0x20, 0x10  # command flags; T is RETRANSMIT
-VENDOR, MANDATORY = 0x80, 0x40  # AVP flags
-CREDIT_CONTROL, RELAY = 4, 0xFFFFFFFF  # applications
-NTP_EPOCH = 2_208_988_800  # Unix time 0 in Diameter's Time
-
-
-class Command(IntEnum):
-    CAPABILITIES_EXCHANGE = 257
-    CREDIT_CONTROL = 272
-    DEVICE_WATCHDOG = 280
-    DISCONNECT_PEER = 282
-
-
-class Code(IntEnum):
-    """AVP codes, under their standard names."""
-
-    USER_NAME = 1
-    EVENT_TIMESTAMP = 55
-    ACCT_MULTI_SESSION_ID = 50
-    HOST_IP_ADDRESS = 257
-    AUTH_APPLICATION_ID = 258
-    VENDOR_SPECIFIC_APPLICATION_ID = 260
-    SESSION_ID = 263
-    ORIGIN_HOST = 264
-    VENDOR_ID = 266
-    RESULT_CODE = 268
-    PRODUCT_NAME = 269
-    DISCONNECT_CAUSE = 273
-    ORIGIN_STATE_ID = 278
-    FAILED_AVP = 279
-    ERROR_MESSAGE = 281
-    ROUTE_RECORD = 282
-    DESTINATION_REALM = 283
-    PROXY_INFO = 284
-    DESTINATION_HOST = 293
-    ORIGIN_REALM = 296
-    CC_CORRELATION_ID = 411
-    CC_REQUEST_NUMBER = 415
-    CC_REQUEST_TYPE = 416
-    CC_SERVICE_SPECIFIC_UNITS = 417
-    CHECK_BALANCE_RESULT = 422
-    GRANTED_SERVICE_UNIT = 431
-    REQUESTED_ACTION = 436
-    REQUESTED_SERVICE_UNIT = 437
-    SERVICE_IDENTIFIER = 439
-    SERVICE_PARAMETER_INFO = 440
-    SERVICE_PARAMETER_TYPE = 441
-    SERVICE_PARAMETER_VALUE = 442
-    SUBSCRIPTION_ID = 443
-    SUBSCRIPTION_ID_DATA = 444
-    SUBSCRIPTION_ID_TYPE = 450
-    USER_EQUIPMENT_INFO = 458
-    SERVICE_CONTEXT_ID = 461
-
-
-class Result(IntEnum):
-    """Result-Codes."""
-
-    SUCCESS = 2001
-    COMMAND_UNSUPPORTED = 3001
-    UNABLE_TO_DELIVER = 3002
-    REALM_NOT_SERVED = 3003
-    TOO_BUSY = 3004
-    APPLICATION_UNSUPPORTED = 3007
-    INVALID_HDR_BITS = 3008
-    UNKNOWN_PEER = 3010
-    AVP_UNSUPPORTED = 5001
-    INVALID_AVP_VALUE = 5004
-    MISSING_AVP = 5005
-    AVP_OCCURS_TOO_MANY_TIMES = 5009
-    NO_COMMON_APPLICATION = 5010
-    UNSUPPORTED_VERSION = 5011
-    UNABLE_TO_COMPLY = 5012
-    INVALID_AVP_LENGTH = 5014
-    INVALID_MESSAGE_LENGTH = 5015
-    USER_UNKNOWN = 5030
-    RATING_FAILED = 5031
 
+from badgeryoke.gateway.diameter.dictionary import AvpCode, ResultCode
+
+HEADER_BYTES = 20
+MAX_MESSAGE_BYTES = 96 * 1024  # a value of 64 KiB and the other AVPs
+MAX_AVPS = 128  # of one message, or of one Grouped AVP
+# Command flags: the R, P, E and T bits.
+FLAG_REQUEST = 0x80
+FLAG_PROXIABLE = 0x40
+FLAG_ERROR = 0x20
+FLAG_RETRANSMITTED = 0x10
+# AVP flags: the V and M bits.
+AVP_FLAG_VENDOR = 0x80
+AVP_FLAG_MANDATORY = 0x40
+CREDIT_CONTROL_APPLICATION_ID = 4
+RELAY_APPLICATION_ID = 0xFFFFFFFF
+NTP_EPOCH_OFFSET_S = 2_208_988_800  # the Unix epoch as a value of the type Time
 
 EVENT_REQUEST = 4  # CC-Request-Type
 DIRECT_DEBITING, CHECK_BALANCE = 0, 2  # Requested-Action
@@ -105,15 +39,21 @@
 
     code: int
     data: bytes
-    flags: int = MANDATORY
-    vendor: int = 0
+    flags: int = AVP_FLAG_MANDATORY
+    vendor_id: int = 0
 
     def encode(self) -> bytes:
-        flags = self.flags | VENDOR if self.vendor else self.flags & ~VENDOR
-        extra = struct.pack(">I", self.vendor) if self.vendor else b""
-        length = 8 + len(extra) + len(self.data)
+        """The AVP with its header and padding."""
+        flags = self.flags | AVP_FLAG_VENDOR if self.vendor_id else self.flags & ~AVP_FLAG_VENDOR
+        vendor_id_field = struct.pack(">I", self.vendor_id) if self.vendor_id else b""
+        length = 8 + len(vendor_id_field) + len(self.data)
         return b"".join(
-            (struct.pack(">II", self.code, flags << 24 | length), extra, self.data, b"\0" * (-length % 4))
+            (
+                struct.pack(">II", self.code, flags << 24 | length),
+                vendor_id_field,
+                self.data,
+                b"\0" * (-length % 4),
+            )
         )
 
 
@@ -121,9 +61,9 @@
 class Fault:
     """What is wrong with a message: the Result-Code, and the AVP to name in Failed-AVP."""
 
-    result: int
+    result_code: int
     text: str
-    failed: bytes = b""
+    failed_avp: bytes = b""
 
 
 @dataclass(frozen=True, slots=True)
@@ -131,26 +71,28 @@
     """One message, its AVPs not yet read."""
 
     flags: int
-    command: int
-    application: int
-    hop_by_hop: int
-    end_to_end: int
+    command_code: int
+    application_id: int
+    hop_by_hop_id: int
+    end_to_end_id: int
     body: bytes = b""
 
     @property
     def is_request(self) -> bool:
-        return bool(self.flags & REQUEST)
+        """Whether the R bit is set."""
+        return bool(self.flags & FLAG_REQUEST)
 
     def encode(self) -> bytes:
-        length = HEADER + len(self.body)
+        """The message with its header."""
+        length = HEADER_BYTES + len(self.body)
         return (
             struct.pack(
                 ">IIIII",
                 1 << 24 | length,
-                self.flags << 24 | self.command,
-                self.application,
-                self.hop_by_hop,
-                self.end_to_end,
+                self.flags << 24 | self.command_code,
+                self.application_id,
+                self.hop_by_hop_id,
+                self.end_to_end_id,
             )
             + self.body
         )
@@ -158,167 +100,191 @@
     def answer(self, avps: Iterable[Avp], error: bool = False) -> Message:
         """The answer to this request: the same ids, and the E bit for a protocol error."""
         return Message(
-            self.flags & PROXIABLE | (ERROR if error else 0),
-            self.command,
-            self.application,
-            self.hop_by_hop,
-            self.end_to_end,
-            encode(avps),
+            self.flags & FLAG_PROXIABLE | (FLAG_ERROR if error else 0),
+            self.command_code,
+            self.application_id,
+            self.hop_by_hop_id,
+            self.end_to_end_id,
+            encode_avps(avps),
         )
 
 
 class Framer:
-    """Cuts a stream into messages."""
+    """Splits a byte stream into messages."""
 
-    def __init__(self, max_message: int = MAX_MESSAGE) -> None:
+    def __init__(self, max_message_bytes: int = MAX_MESSAGE_BYTES) -> None:
         self._buffer = bytearray()
-        self._max = max_message
+        self._max_message_bytes = max_message_bytes
         # After this nothing can be read: the fault, and the header it is about.
         self.fault: tuple[Fault, Message] | None = None
 
     @property
-    def cut(self) -> bool:
-        """Whether a message has been begun."""
+    def has_partial_message(self) -> bool:
+        """Whether the buffer holds the beginning of a message."""
         return bool(self._buffer)
 
     def feed(self, data: bytes) -> list[Message]:
         """The messages that data completes; stops for good at a fault."""
-        found: list[Message] = []
+        messages: list[Message] = []
         if self.fault is not None:
-            return found
+            return messages
         buffer = self._buffer
         buffer += data
-        at = 0
-        while len(buffer) - at >= HEADER:
-            first, second, application, hop, end = struct.unpack_from(">IIIII", buffer, at)
-            length = first & 0xFFFFFF
-            head = Message(second >> 24, second & 0xFFFFFF, application, hop, end)
-            if first >> 24 != 1:
-                self.fault = Fault(Result.UNSUPPORTED_VERSION, "version is not 1"), head
-            elif length < HEADER or length % 4 or length > self._max:
-                self.fault = Fault(Result.INVALID_MESSAGE_LENGTH, f"message length {length}"), head
+        offset = 0
+        while len(buffer) - offset >= HEADER_BYTES:
+            version_and_length, flags_and_command_code, application_id, hop_by_hop_id, end_to_end_id = (
+                struct.unpack_from(">IIIII", buffer, offset)
+            )
+            length = version_and_length & 0xFFFFFF
+            header = Message(
+                flags_and_command_code >> 24,
+                flags_and_command_code & 0xFFFFFF,
+                application_id,
+                hop_by_hop_id,
+                end_to_end_id,
+            )
+            if version_and_length >> 24 != 1:
+                self.fault = Fault(ResultCode.UNSUPPORTED_VERSION, "version is not 1"), header
+            elif length < HEADER_BYTES or length % 4 or length > self._max_message_bytes:
+                self.fault = Fault(ResultCode.INVALID_MESSAGE_LENGTH, f"message length {length}"), header
             if self.fault is not None:
                 buffer.clear()
-                return found
-            if len(buffer) - at < length:
+                return messages
+            if len(buffer) - offset < length:
                 break
-            found.append(
+            messages.append(
                 Message(
-                    head.flags, head.command, application, hop, end, bytes(buffer[at + HEADER : at + length])
+                    header.flags,
+                    header.command_code,
+                    application_id,
+                    hop_by_hop_id,
+                    end_to_end_id,
+                    bytes(buffer[offset + HEADER_BYTES : offset + length]),
                 )
             )
-            at += length
-        del buffer[:at]
-        return found
+            offset += length
+        del buffer[:offset]
+        return messages
 
 
-def encode(avps: Iterable[Avp]) -> bytes:
+def encode_avps(avps: Iterable[Avp]) -> bytes:
+    """The AVPs of a message body or of a Grouped AVP, in their order."""
     return b"".join(avp.encode() for avp in avps)
 
 
 def read_avps(body: bytes) -> list[Avp] | Fault:
     """The AVPs of a message or of a group."""
-    found: list[Avp] = []
-    at = 0
-    while at < len(body):
-        if len(body) - at < 8:
-            return Fault(Result.INVALID_AVP_LENGTH, "AVP header cut", body[at:].ljust(8, b"\0"))
-        code, word = struct.unpack_from(">II", body, at)
-        flags, length = word >> 24, word & 0xFFFFFF
-        head = 12 if flags & VENDOR else 8
-        if length < head or at + length > len(body):
+    avps: list[Avp] = []
+    offset = 0
+    while offset < len(body):
+        if len(body) - offset < 8:
+            return Fault(ResultCode.INVALID_AVP_LENGTH, "AVP header cut", body[offset:].ljust(8, b"\0"))
+        code, flags_and_length = struct.unpack_from(">II", body, offset)
+        flags, length = flags_and_length >> 24, flags_and_length & 0xFFFFFF
+        header_bytes = 12 if flags & AVP_FLAG_VENDOR else 8
+        if length < header_bytes or offset + length > len(body):
             # RFC 6733, 7.5: the offending AVP's header, its data filled up with zeroes.
             return Fault(
-                Result.INVALID_AVP_LENGTH,
+                ResultCode.INVALID_AVP_LENGTH,
                 f"AVP {code} length {length}",
-                struct.pack(">II", code, flags << 24 | head) + b"\0" * (head - 8),
+                struct.pack(">II", code, flags << 24 | header_bytes) + b"\0" * (header_bytes - 8),
             )
-        if len(found) >= MAX_AVPS:
-            return Fault(Result.UNABLE_TO_COMPLY, "too many AVPs")
-        vendor = struct.unpack_from(">I", body, at + 8)[0] if head == 12 else 0
-        found.append(Avp(code, body[at + head : at + length], flags & ~VENDOR, vendor))
-        at += length + (-length % 4)
-    return found
+        if len(avps) >= MAX_AVPS:
+            return Fault(ResultCode.UNABLE_TO_COMPLY, "too many AVPs")
+        vendor_id = struct.unpack_from(">I", body, offset + 8)[0] if header_bytes == 12 else 0
+        avps.append(
+            Avp(code, body[offset + header_bytes : offset + length], flags & ~AVP_FLAG_VENDOR, vendor_id)
+        )
+        offset += length + (-length % 4)
+    return avps
 
 
-def u32(code: int, value: int, flags: int = MANDATORY) -> Avp:
+def unsigned32_avp(code: int, value: int, flags: int = AVP_FLAG_MANDATORY) -> Avp:
+    """An AVP of type Unsigned32, Enumerated or Time."""
     return Avp(code, struct.pack(">I", value), flags)
 
 
-def u64(code: int, value: int) -> Avp:
+def unsigned64_avp(code: int, value: int) -> Avp:
+    """An AVP of type Unsigned64."""
     return Avp(code, struct.pack(">Q", value))
 
 
-def text(code: int, value: str, flags: int = MANDATORY) -> Avp:
+def text_avp(code: int, value: str, flags: int = AVP_FLAG_MANDATORY) -> Avp:
+    """An AVP of type UTF8String or DiameterIdentity."""
     return Avp(code, value.encode(), flags)
 
 
-def group(code: int, avps: Iterable[Avp]) -> Avp:
-    return Avp(code, encode(avps))
+def grouped_avp(code: int, avps: Iterable[Avp]) -> Avp:
+    """An AVP of type Grouped."""
+    return Avp(code, encode_avps(avps))
 
 
 def _invalid(avp: Avp) -> Fault:
-    return Fault(Result.INVALID_AVP_VALUE, f"AVP {avp.code} has no valid value", avp.encode())
+    return Fault(ResultCode.INVALID_AVP_VALUE, f"AVP {avp.code} has no valid value", avp.encode())
 
 
-def read_u32(avp: Avp) -> int | Fault:
+def read_unsigned32(avp: Avp) -> int | Fault:
+    """The value of an Unsigned32, Enumerated or Time AVP."""
     if len(avp.data) != 4:
-        return Fault(Result.INVALID_AVP_LENGTH, f"AVP {avp.code} is not 4 bytes", avp.encode())
+        return Fault(ResultCode.INVALID_AVP_LENGTH, f"AVP {avp.code} is not 4 bytes", avp.encode())
     return int.from_bytes(avp.data, "big")
 
 
-def read_u64(avp: Avp) -> int | Fault:
+def read_unsigned64(avp: Avp) -> int | Fault:
+    """The value of an Unsigned64 AVP."""
     if len(avp.data) != 8:
-        return Fault(Result.INVALID_AVP_LENGTH, f"AVP {avp.code} is not 8 bytes", avp.encode())
+        return Fault(ResultCode.INVALID_AVP_LENGTH, f"AVP {avp.code} is not 8 bytes", avp.encode())
     return int.from_bytes(avp.data, "big")
 
 
 def read_text(avp: Avp) -> str | Fault:
+    """The value of a UTF8String AVP."""
     try:
         return avp.data.decode()
     except UnicodeDecodeError:
         return _invalid(avp)
 
 
-def only(avps: Iterable[Avp], code: int) -> Avp | None:
+def find_avp(avps: Iterable[Avp], code: int) -> Avp | None:
     """The first AVP of a code, none of a vendor's."""
-    return next((avp for avp in avps if avp.code == code and not avp.vendor), None)
+    return next((avp for avp in avps if avp.code == code and not avp.vendor_id), None)
 
 
 def address_avp(host: str) -> Avp:
     """Host-IP-Address: the address family, then the address."""
     ip = ipaddress.ip_address(host)
-    return Avp(Code.HOST_IP_ADDRESS, struct.pack(">H", 1 if ip.version == 4 else 2) + ip.packed)
+    return Avp(AvpCode.HOST_IP_ADDRESS, struct.pack(">H", 1 if ip.version == 4 else 2) + ip.packed)
 
 
-def units_of(avp: Avp) -> int | Fault | None:
+def read_units(avp: Avp) -> int | Fault | None:
     """CC-Service-Specific-Units of a Requested- or Granted-Service-Unit; None where it holds none."""
     inner = read_avps(avp.data)
     if isinstance(inner, Fault):
         return inner
-    found = only(inner, Code.CC_SERVICE_SPECIFIC_UNITS)
-    return None if found is None else read_u64(found)
+    found = find_avp(inner, AvpCode.CC_SERVICE_SPECIFIC_UNITS)
+    return None if found is None else read_unsigned64(found)
 
 
 def units_avp(code: int, units: float) -> Avp:
-    return group(code, [u64(Code.CC_SERVICE_SPECIFIC_UNITS, max(round(units), 0))])
+    """A Requested- or Granted-Service-Unit with CC-Service-Specific-Units."""
+    return grouped_avp(code, [unsigned64_avp(AvpCode.CC_SERVICE_SPECIFIC_UNITS, max(round(units), 0))])
 
 
 def value_avp(value: bytes) -> Avp:
-    """What a query or its answer carries besides the standard AVPs."""
-    return group(
-        Code.SERVICE_PARAMETER_INFO,
-        [u32(Code.SERVICE_PARAMETER_TYPE, 1), Avp(Code.SERVICE_PARAMETER_VALUE, value)],
+    """A Service-Parameter-Info that carries the body of a request or the value of an answer."""
+    return grouped_avp(
+        AvpCode.SERVICE_PARAMETER_INFO,
+        [unsigned32_avp(AvpCode.SERVICE_PARAMETER_TYPE, 1), Avp(AvpCode.SERVICE_PARAMETER_VALUE, value)],
     )
 
 
-def value_of(avps: Iterable[Avp]) -> bytes | Fault | None:
-    """The same, read."""
-    info = only(avps, Code.SERVICE_PARAMETER_INFO)
+def read_value(avps: Iterable[Avp]) -> bytes | Fault | None:
+    """The value of a Service-Parameter-Info; None where there is none."""
+    info = find_avp(avps, AvpCode.SERVICE_PARAMETER_INFO)
     if info is None:
         return None
     inner = read_avps(info.data)
     if isinstance(inner, Fault):
         return inner
-    found = only(inner, Code.SERVICE_PARAMETER_VALUE)
+    found = find_avp(inner, AvpCode.SERVICE_PARAMETER_VALUE)
     return None if found is None else found.data
--- a/badgeryoke/gateway/diameter/upstream_connection.py
+++ b/badgeryoke/gateway/diameter/upstream_connection.py
@@ -1,200 +1,145 @@
-"""A Diameter server as a backend: one connection, requests matched by Hop-by-Hop Id (RFC 6733, RFC 8506)."""
+"""A Diameter server as a backend: one connection, answers matched by Hop-by-Hop Identifier (RFC 6733, RFC 8506)."""
 
 from __future__ import annotations
 
 import asyncio
 import logging
-import zlib
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from tornado.iostream import IOStream, StreamClosedError
 
 from badgeryoke.gateway.actor import Actor, ActorScheduler
-from badgeryoke.gateway.attempt import Attempt, Request
+from badgeryoke.gateway.attempt import Attempt
 from badgeryoke.gateway.connecting import dial
 from badgeryoke.gateway.diameter import codec
-from badgeryoke.gateway.diameter.codec import Avp, Code, Command, Fault, Message, Result
+from badgeryoke.gateway.diameter.codec import Avp, Fault, Message
+from badgeryoke.gateway.diameter.dictionary import CommandCode, ResultCode
 from badgeryoke.gateway.diameter.peer import Peer, PeerIdentity, PeerState
+from badgeryoke.gateway.diameter.upstream_request import encode_request, end_attempt
 
 if TYPE_CHECKING:
     from badgeryoke.gateway.cluster.upstream_lease import UpstreamLease
 
 log = logging.getLogger(__name__)
 
-SERVICE_CONTEXT = "load@badgeryoke"
-IDLE_PART = 0.5  # of the settings' idle time a connection is kept
-MOST_OUT = 1024  # attempts of one connection
-
-
-def session_of(query: Request, realm: str) -> tuple[str, int]:
-    """Session-Id and End-to-End Id.  Of a keyed query they derive from its key alone, so that a server knows
-    the repeat that another gateway sends."""
-    mark = query.idempotency_key or query.id
-    low = zlib.crc32(mark.encode())
-    return f"{realm};{len(mark)};{low};{mark}", low
-
-
-def encode(
-    query: Request, me: PeerIdentity, safe: bool, service: int | None, hop_by_hop: int, repeat: bool
-) -> bytes:
-    """The CCR of an event."""
-    session, end_to_end = session_of(query, me.realm)
-    avps = [
-        codec.text(Code.SESSION_ID, session),
-        codec.text(Code.ORIGIN_HOST, me.host),
-        codec.text(Code.ORIGIN_REALM, me.realm),
-        codec.text(Code.DESTINATION_REALM, me.realm),
-        codec.u32(Code.AUTH_APPLICATION_ID, codec.CREDIT_CONTROL),
-        codec.text(Code.SERVICE_CONTEXT_ID, SERVICE_CONTEXT),
-        codec.u32(Code.CC_REQUEST_TYPE, codec.EVENT_REQUEST),
-        codec.u32(Code.CC_REQUEST_NUMBER, 0),
-        codec.u32(Code.REQUESTED_ACTION, codec.CHECK_BALANCE if safe else codec.DIRECT_DEBITING),
-        codec.group(
-            Code.SUBSCRIPTION_ID,
-            [
-                codec.u32(Code.SUBSCRIPTION_ID_TYPE, codec.END_USER_PRIVATE),
-                codec.text(Code.SUBSCRIPTION_ID_DATA, f"{query.customer:016x}"),
-            ],
-        ),
-        codec.units_avp(Code.REQUESTED_SERVICE_UNIT, query.units),
-    ]
-    if service is not None:
-        avps.append(codec.u32(Code.SERVICE_IDENTIFIER, service))
-    if query.body is not None:
-        avps.append(codec.value_avp(query.body))
-    flags = codec.REQUEST | codec.PROXIABLE | (codec.RETRANSMIT if repeat else 0)
-    return Message(
-        flags, Command.CREDIT_CONTROL, codec.CREDIT_CONTROL, hop_by_hop, end_to_end, codec.encode(avps)
-    ).encode()
-
-
-def settle(execution: Attempt, avps: list[Avp] | Fault) -> str | None:
-    """End an attempt by its CCA; the result says what was malformed.
-
-    A server that is too busy never began, so the query may go elsewhere; any other failure may have run.
-    """
-    if isinstance(avps, Fault):
-        execution.failed("malformed answer")
-        return avps.text
-    code = codec.only(avps, Code.RESULT_CODE)
-    result = None if code is None else codec.read_u32(code)
-    if result is None or isinstance(result, Fault):
-        execution.failed("malformed answer")
-        return "answer without a Result-Code"
-    if result == Result.TOO_BUSY:
-        execution.rejected("DIAMETER_TOO_BUSY")
-    elif 2000 <= result < 3000:
-        value = codec.value_of(avps)
-        granted = codec.only(avps, Code.GRANTED_SERVICE_UNIT)
-        units = None if granted is None else codec.units_of(granted)
-        if isinstance(value, Fault) or isinstance(units, Fault):
-            execution.succeeded(b"", 0.0)
-            return "answer with unreadable units or value"
-        execution.succeeded(value or b"", float(units or 0))
-    else:
-        execution.failed(f"Result-Code {result}")
-    return None
-
-
-class _Connection(Peer):
-    """The connection, and the attempts that are out on it."""
+IDLE_FRACTION = 0.5  # of the idle timeout in the settings
+MAX_ATTEMPTS_IN_FLIGHT = 1024  # attempts of one connection
+
+
+class UpstreamPeer(Peer):
+    """A connection to a server, and the attempts in flight on it."""
 
     expects_request = False
 
     def __init__(
         self, stream: IOStream, owner: DiameterUpstream, loop: ActorScheduler, watchdog_s: float
     ) -> None:
-        super().__init__(stream, owner.me, loop, watchdog_s)
+        super().__init__(stream, owner.identity, loop, watchdog_s)
         self._owner = owner
-        self.out: dict[int, Attempt] = {}
-        self._unwritten: list[Attempt] = []  # gathered in this turn
-        self.used_at = loop.time()
-
-    def opened(self) -> None:
-        self._owner.post(self._owner.opened, self)
-
-    def gone(self) -> None:
-        """What was written may have run; execution.lost() tells which was."""
-        out, self.out = self.out, {}
-        for execution in out.values():
-            execution.on_abort = None
-            execution.connection_lost(str(self.stream.error or "connection ended"))
-        self._owner.post(self._owner.closed, self)
-
-    def write(self, execution: Attempt) -> None:
+        self.in_flight: dict[int, Attempt] = {}
+        self._unwritten: list[Attempt] = []  # of the current batch
+        self.last_used_s = loop.time()
+
+    def capabilities_exchanged(self) -> None:
+        """Send the attempts that waited for the connection."""
+        self._owner.post(self._owner.connection_opened, self)
+
+    def connection_closed(self) -> None:
+        """Fail the attempts in flight; each knows whether it was written, and so may have run."""
+        in_flight, self.in_flight = self.in_flight, {}
+        for attempt in in_flight.values():
+            attempt.on_abort = None
+            attempt.connection_lost(str(self.stream.error or "connection ended"))
+        self._owner.post(self._owner.connection_closed, self)
+
+    def write(self, attempt: Attempt) -> None:
+        """Encode an attempt's request, to be written at the end of the batch."""
         now = self._owner.clock()
         if self.state is not PeerState.OPEN or self.stream.closed():
-            execution.connection_lost("connection ended")
+            attempt.connection_lost("connection ended")
             return
-        if not execution.may_be_written(now):
-            execution.not_sent("too late to be sent")
+        if not attempt.may_be_written(now):
+            attempt.not_sent("too late to be sent")
             return
-        if len(self.out) >= MOST_OUT:
-            execution.not_sent("too many attempts out")
+        if len(self.in_flight) >= MAX_ATTEMPTS_IN_FLIGHT:
+            attempt.not_sent("too many attempts out")
             return
-        query, owner = execution.request, self._owner
-        number = self.next_id()
-        repeat = execution.potential_duplicate or (query.retry and bool(query.idempotency_key))
-        self.out[number] = execution
-        execution.write_started = True
-        execution.on_abort = lambda: self.post(self._abandoned, number, execution)
-        service = owner.services.get(query.plan)
-        self._out.append(encode(query, self.me, bool(query.idempotent), service, number, repeat))
-        self._unwritten.append(execution)
+        request, owner = attempt.request, self._owner
+        hop_by_hop_id = self.next_id()
+        retransmitted = attempt.potential_duplicate or (request.retry and bool(request.idempotency_key))
+        self.in_flight[hop_by_hop_id] = attempt
+        attempt.write_started = True
+        attempt.on_abort = lambda: self.post(self._attempt_abandoned, hop_by_hop_id, attempt)
+        service = owner.services.get(request.plan)
+        self._outgoing.append(
+            encode_request(
+                request, self.identity, bool(request.idempotent), service, hop_by_hop_id, retransmitted
+            )
+        )
+        self._unwritten.append(attempt)
 
     def batch_ended(self) -> None:
+        """Write the batch and mark each attempt that was written completely."""
         batch, self._unwritten = self._unwritten, []
         super().batch_ended()
         if not batch or self.stream.closed():
             return
-        stuck = self.stream.writing()
-        # Of a batch that sticks half way all but the last may be out whole, and may run.
-        for execution in batch[:-1] if stuck else batch:
-            execution.written()
-        if stuck:
-            self._loop.call_later(0.0, self.deliver, self._look, batch[-1])
-
-    def _look(self, last: Attempt) -> None:
-        """Written whole once nothing waits in the stream; a break before that proves that it never ran."""
+        partly_written = self.stream.writing()
+        # All but the last message of a partly written batch may have been sent completely, and may run.
+        for attempt in batch[:-1] if partly_written else batch:
+            attempt.written()
+        if partly_written:
+            self._loop.call_later(0.0, self.deliver, self._check_written, batch[-1])
+
+    def _check_written(self, last: Attempt) -> None:
+        """Mark the last attempt written once the stream is flushed; if it closes earlier, it never ran."""
         if self.stream.closed():
             return
         if self.stream.writing():
-            self._loop.call_later(0.001, self.deliver, self._look, last)
+            self._loop.call_later(0.001, self.deliver, self._check_written, last)
         else:
             last.written()
 
-    def _abandoned(self, number: int, execution: Attempt) -> None:
-        """Credit control has no way to take a request back.  Where the query has its final answer, a late CCA
-        is ignored; where another attempt may follow, only closing the connection ends this one."""
-        if self.out.get(number) is not execution:
+    def _attempt_abandoned(self, hop_by_hop_id: int, attempt: Attempt) -> None:
+        """Forget an abandoned attempt: credit control has no request to cancel another.
+
+        Where the request has its final answer, a late CCA is ignored; where another attempt may follow, only
+        closing the connection ends this one.
+        """
+        if self.in_flight.get(hop_by_hop_id) is not attempt:
             return
-        del self.out[number]
-        if not execution.final:
+        del self.in_flight[hop_by_hop_id]
+        if not attempt.final:
             self.stream.close()
 
-    def credit_control(self, message: Message, avps: list[Avp] | Fault) -> None:
+    def handle_credit_control(self, message: Message, avps: list[Avp] | Fault) -> None:
+        """End the attempt that a Credit-Control-Answer belongs to, by its Hop-by-Hop Identifier."""
         if message.is_request:
-            self.reply_fault(message, Fault(Result.UNABLE_TO_COMPLY, "this side serves no credit control"))
+            self.send_fault_answer(
+                message, Fault(ResultCode.UNABLE_TO_COMPLY, "this side serves no credit control")
+            )
             return
-        execution = self.out.pop(message.hop_by_hop, None)
-        self.used_at = self._loop.time()
-        if execution is None:
+        attempt = self.in_flight.pop(message.hop_by_hop_id, None)
+        self.last_used_s = self._loop.time()
+        if attempt is None:
             return  # the answer to an attempt that was abandoned
-        execution.on_abort = None
-        if fault := settle(execution, avps):
-            self._owner.complain(fault)
-        self.part()
-
-    def part(self) -> None:
-        """Leave a server that drains or is gone, once it owes nothing: the watchdog would hold the connection
-        for good."""
-        if self._owner.draining and not self.out and self.state is PeerState.OPEN:
+        attempt.on_abort = None
+        if fault := end_attempt(attempt, avps):
+            self._owner.log_first_fault(fault)
+        self.disconnect_if_drained()
+
+    def disconnect_if_drained(self) -> None:
+        """Disconnect from a draining server once no attempt is in flight.
+
+        The watchdog would keep the connection open forever.
+        """
+        if self._owner.draining and not self.in_flight and self.state is PeerState.OPEN:
             self.disconnect(codec.DO_NOT_WANT_TO_TALK_TO_YOU)
 
 
 class DiameterUpstream(Actor):
-    """One Diameter server: connected when first needed, and again when needed after a loss."""
+    """One Diameter server: connected on demand, and again on demand after a connection loss."""
 
     def __init__(
         self,
@@ -202,7 +147,7 @@
         loop: ActorScheduler,
         clock: Callable[[], float],
         *,
-        me: PeerIdentity,
+        identity: PeerIdentity,
         services: dict[str, int],
         connect_ms: float,
         idle_ms: float,
@@ -210,134 +155,141 @@
         lease: UpstreamLease | None = None,
     ) -> None:
         super().__init__(loop)
-        self.lease = lease  # where the fleet keeps the server's limit
-        self.address, self.clock, self.me = address, clock, me
+        self.lease = lease  # enforces the connection limit that the fleet shares
+        self.address, self.clock, self.identity = address, clock, identity
         self.services = services
         self._connect_ms, self._watchdog_s = connect_ms, watchdog_s
-        self._idle_s = idle_ms * IDLE_PART / 1000.0
-        self._connection: _Connection | None = None
+        self._idle_s = idle_ms * IDLE_FRACTION / 1000.0
+        self._connection: UpstreamPeer | None = None
         self._waiting: list[Attempt] = []
         self.draining = False
-        self._complained = False
+        self._fault_logged = False
 
-    def start(self, execution: Attempt) -> None:
-        self.post(self._start, execution)
+    def start(self, attempt: Attempt) -> None:
+        """Send an attempt, over a new connection if none is open."""
+        self.post(self._start, attempt)
 
-    def _start(self, execution: Attempt) -> None:
+    def _start(self, attempt: Attempt) -> None:
         if self.draining:
-            execution.connection_lost("server is gone")
+            attempt.connection_lost("server is gone")
         elif (
             self._connection is not None
             and self._connection.state is PeerState.OPEN
             and (self.lease is None or self.lease.is_held())
         ):
-            self._connection.post(self._connection.write, execution)
-        elif len(self._waiting) >= MOST_OUT:
-            execution.not_sent("too many attempts wait for the connection")
+            self._connection.post(self._connection.write, attempt)
+        elif len(self._waiting) >= MAX_ATTEMPTS_IN_FLIGHT:
+            attempt.not_sent("too many attempts wait for the connection")
         else:
-            self._waiting.append(execution)
-            self._loop.call_later(self._connect_ms / 1000.0, self.deliver, self._unmet, execution)
+            self._waiting.append(attempt)
+            self._loop.call_later(self._connect_ms / 1000.0, self.deliver, self._connect_timed_out, attempt)
             if self._connection is None:
                 self._connect()
 
     def _connect(self) -> None:
         if self.lease is not None and not self.lease.may_open():
-            return  # whoever waits has its time
+            return  # waiting attempts have their own timeout
         try:
-            stream, coming_up = (dial if self.lease is None else self.lease.dial)(
-                self.address, 4 * codec.MAX_MESSAGE
+            stream, connecting = (dial if self.lease is None else self.lease.dial)(
+                self.address, 4 * codec.MAX_MESSAGE_BYTES
             )
         except OSError as fault:
-            self.complain(f"no socket: {fault}")
+            self.log_first_fault(f"no socket: {fault}")
             waiting, self._waiting = self._waiting, []
-            for execution in waiting:
-                execution.connection_lost(f"no socket: {fault}")
+            for attempt in waiting:
+                attempt.connection_lost(f"no socket: {fault}")
             return
-        connection = self._connection = _Connection(stream, self, self._loop, self._watchdog_s)
-        self._task = asyncio.ensure_future(self._live(connection, coming_up))
+        connection = self._connection = UpstreamPeer(stream, self, self._loop, self._watchdog_s)
+        self._task = asyncio.ensure_future(self._run_connection(connection, connecting))
 
-    async def _live(self, connection: _Connection, coming_up: asyncio.Future[IOStream]) -> None:
+    async def _run_connection(self, connection: UpstreamPeer, connecting: asyncio.Future[IOStream]) -> None:
         try:
-            await coming_up
+            await connecting
         except (StreamClosedError, OSError):
             connection.stream.close()
             return
-        connection.post(connection.request, Command.CAPABILITIES_EXCHANGE, connection.capabilities())
+        connection.post(
+            connection.send_request, CommandCode.CAPABILITIES_EXCHANGE, connection.capabilities_avps()
+        )
         await connection.read()
 
-    def opened(self, connection: _Connection) -> None:
+    def connection_opened(self, connection: UpstreamPeer) -> None:
+        """Send the attempts that waited for this connection."""
         waiting, self._waiting = self._waiting, []
-        for execution in waiting:
-            if not execution.ended:
-                connection.post(connection.write, execution)
+        for attempt in waiting:
+            if not attempt.ended:
+                connection.post(connection.write, attempt)
 
-    def closed(self, connection: _Connection) -> None:
+    def connection_closed(self, connection: UpstreamPeer) -> None:
+        """Reconnect for attempts that arrived while an open connection closed; fail them otherwise."""
         if connection is not self._connection:
             return
         self._connection = None
-        if connection.host and self._waiting and not self.draining:
-            self._connect()  # it had been open, and was closed while these came
+        if connection.origin_host and self._waiting and not self.draining:
+            self._connect()  # an open connection closed while these attempts arrived
             return
         waiting, self._waiting = self._waiting, []
-        for execution in waiting:
-            execution.connection_lost(str(connection.stream.error or "no connection"))
+        for attempt in waiting:
+            attempt.connection_lost(str(connection.stream.error or "no connection"))
 
-    def _unmet(self, execution: Attempt) -> None:
-        if execution in self._waiting:
-            self._waiting.remove(execution)
-            execution.connection_lost("no connection in time")
+    def _connect_timed_out(self, attempt: Attempt) -> None:
+        if attempt in self._waiting:
+            self._waiting.remove(attempt)
+            attempt.connection_lost("no connection in time")
 
     @property
     def connections_needed(self) -> int:
         """See badgeryoke.gateway.cluster.upstream_lease.LeasedUpstream."""
-        return int(bool(self._waiting) or (self._connection is not None and bool(self._connection.out)))
+        return int(bool(self._waiting) or (self._connection is not None and bool(self._connection.in_flight)))
 
     def close_connections(self, count: int, include_in_use: bool) -> None:
         """See badgeryoke.gateway.cluster.upstream_lease.LeasedUpstream."""
-        self.post(self._shrink, include_in_use)
+        self.post(self._close_connection, include_in_use)
 
-    def _shrink(self, all_: bool) -> None:
+    def _close_connection(self, include_in_use: bool) -> None:
         connection = self._connection
-        if connection is not None and (all_ or not connection.out):
+        if connection is not None and (include_in_use or not connection.in_flight):
             connection.stream.close()
 
     def capacity_available(self) -> None:
         """See badgeryoke.gateway.cluster.upstream_lease.LeasedUpstream."""
-        self.post(self._grown)
+        self.post(self._connect_if_needed)
 
-    def _grown(self) -> None:
+    def _connect_if_needed(self) -> None:
         if self._waiting and self._connection is None and not self.draining:
             self._connect()
 
-    def complain(self, words: str) -> None:
-        """Log a server's fault once."""
-        if not self._complained:
-            self._complained = True
-            log.warning("server %s:%d %s", *self.address, words)
+    def log_first_fault(self, description: str) -> None:
+        """Log the first fault of a server; later ones are not logged."""
+        if not self._fault_logged:
+            self._fault_logged = True
+            log.warning("server %s:%d %s", *self.address, description)
 
     def sweep(self) -> None:
-        """Part from a server that has not been needed for long; called now and then."""
+        """Disconnect from an idle server; called periodically."""
         connection = self._connection
         if (
             connection is not None
             and connection.state is PeerState.OPEN
-            and not connection.out
-            and self._loop.time() - connection.used_at > self._idle_s
+            and not connection.in_flight
+            and self._loop.time() - connection.last_used_s > self._idle_s
         ):
             connection.post(connection.disconnect, codec.DO_NOT_WANT_TO_TALK_TO_YOU)
 
     def drain(self) -> None:
+        """Accept no further attempts, and disconnect once none is in flight."""
         self.post(self._drain_now)
 
     def _drain_now(self) -> None:
         self.draining = True
         waiting, self._waiting = self._waiting, []
-        for execution in waiting:
-            execution.connection_lost("server is draining")
+        for attempt in waiting:
+            attempt.connection_lost("server is draining")
         if self._connection is not None:
-            self._connection.post(self._connection.part)
+            self._connection.post(self._connection.disconnect_if_drained)
 
     def reopen(self) -> None:
+        """Accept attempts again."""
         self.post(self._reopen)
 
     def _reopen(self) -> None:
--- a/tests/gateway/diameter/test_golden_diameter.py
+++ b/tests/gateway/diameter/test_golden_diameter.py
@@ -11,8 +11,9 @@
 
 from badgeryoke.gateway.actor import ActorScheduler
 from badgeryoke.gateway.attempt import Attempt, AttemptEnd, Request
-from badgeryoke.gateway.diameter import codec, upstream_connection
-from badgeryoke.gateway.diameter.codec import Avp, Code, Command, Message
+from badgeryoke.gateway.diameter import codec, upstream_request
+from badgeryoke.gateway.diameter.codec import Avp, Message
+from badgeryoke.gateway.diameter.dictionary import AvpCode, CommandCode
 from badgeryoke.gateway.diameter.peer import Peer, PeerIdentity
 from tests.gateway.diameter.test_diameter import CLOSED, FAULTS
 from tests.support.canonical import canonical
@@ -60,19 +61,19 @@
 def requests() -> list[tuple[str, bytes]]:
     """The CCR of each query."""
     return [
-        (name, upstream_connection.encode(asked, ME, safe, service, FIRST_ID + place, repeat))
+        (name, upstream_request.encode_request(asked, ME, safe, service, FIRST_ID + place, repeat))
         for place, (name, asked, safe, service, repeat) in enumerate(CCRS)
     ]
 
 
-def test_each_query_becomes_the_golden_request() -> None:
+def test_each_request_is_encoded_as_the_golden_bytes() -> None:
     assert_golden(REQUESTS, hex_lines(requests()))
 
 
-def test_a_golden_request_is_read_back_whole() -> None:
+def test_a_golden_request_decodes_to_its_avps() -> None:
     for _, data in requests():
         [read] = codec.Framer().feed(data)
-        assert read.encode() == data and read.command == Command.CREDIT_CONTROL
+        assert read.encode() == data and read.command_code == CommandCode.CREDIT_CONTROL
 
 
 # How a server's answer is read ------------------------------------------------------------------------
@@ -80,10 +81,10 @@
 
 def answer_of(result: int, *more: Avp) -> list[Avp]:
     """An answer's AVPs."""
-    return [codec.u32(Code.RESULT_CODE, result), *more]
+    return [codec.unsigned32_avp(AvpCode.RESULT_CODE, result), *more]
 
 
-GRANTED = codec.units_avp(Code.GRANTED_SERVICE_UNIT, 3)
+GRANTED = codec.units_avp(AvpCode.GRANTED_SERVICE_UNIT, 3)
 REPLIES: tuple[tuple[str, list[Avp]], ...] = (
     ("success", answer_of(2001, GRANTED, codec.value_avp(b"value"))),
     ("success alone", answer_of(2001)),
@@ -92,9 +93,9 @@
     ("unable to deliver", answer_of(3002)),
     ("rating failed", answer_of(5031)),
     ("no result", []),
-    ("result of one byte", [Avp(Code.RESULT_CODE, b"1")]),
-    ("units of one byte", answer_of(2001, codec.group(Code.GRANTED_SERVICE_UNIT, [Avp(417, b"1")]))),
-    ("value that is cut", answer_of(2001, Avp(Code.SERVICE_PARAMETER_INFO, b"\0\0"))),
+    ("result of one byte", [Avp(AvpCode.RESULT_CODE, b"1")]),
+    ("units of one byte", answer_of(2001, codec.grouped_avp(AvpCode.GRANTED_SERVICE_UNIT, [Avp(417, b"1")]))),
+    ("value that is cut", answer_of(2001, Avp(AvpCode.SERVICE_PARAMETER_INFO, b"\0\0"))),
 )
 
 
@@ -105,12 +106,12 @@
         ends: list[AttemptEnd] = []
         execution = Attempt(CCRS[0][1], 0, 1, NOW_MS, NOW_MS + 900.0, lambda _, end: ends.append(end))  # noqa: B023
         execution.written()
-        complaint = upstream_connection.settle(execution, reply)
+        complaint = upstream_request.end_attempt(execution, reply)
         lines.append(f"{name}: {canonical((ends, complaint))}")
     return lines
 
 
-def test_each_answer_ends_an_attempt_in_the_golden_way() -> None:
+def test_each_answer_ends_its_attempt_as_the_golden_file_says() -> None:
     assert_golden(SETTLED, text_lines(settled()))
 
 
@@ -151,7 +152,7 @@
     """What a connection writes when it has taken something in."""
     stream.written.clear()
     if data:
-        peer.deliver(peer._arrived, data)
+        peer.deliver(peer._receive, data)
     return b"".join(stream.written)
 
 
@@ -173,7 +174,7 @@
     stream.written.clear()
     loop.run(WATCHDOG_S * 1.2)
     written.append(("DWR", b"".join(stream.written)))
-    peer.deliver(peer._arrived, message(0, 280, 0, FIRST_ID + 1, FIRST_ID + 1, avp(268, 2001) + BASE))
+    peer.deliver(peer._receive, message(0, 280, 0, FIRST_ID + 1, FIRST_ID + 1, avp(268, 2001) + BASE))
     written += [
         ("unknown command", received(peer, stream, message(0x80, 271, 0, 5, 6, BASE))),
         ("E bit", received(peer, stream, message(0xA0, 280, 0, 7, 8, BASE))),
@@ -189,7 +190,7 @@
     loop, stream = FakeLoop(), Stream()
     peer = OpeningPeer(cast(IOStream, stream), ME, ActorScheduler(loop), WATCHDOG_S)
     peer._next_id = FIRST_ID
-    peer.deliver(peer.request, Command.CAPABILITIES_EXCHANGE, peer.capabilities())
+    peer.deliver(peer.send_request, CommandCode.CAPABILITIES_EXCHANGE, peer.capabilities_avps())
     written = [("CER", b"".join(stream.written)), ("after CEA", received(peer, stream, CEA))]
     stream.written.clear()
     peer.deliver(peer.disconnect, codec.DO_NOT_WANT_TO_TALK_TO_YOU)
@@ -213,7 +214,7 @@
     return found
 
 
-def test_the_base_protocol_is_the_golden_one() -> None:
+def test_the_base_protocol_matches_the_golden_bytes() -> None:
     assert_golden(PEER, hex_lines([*opened_side(), *opening_side(), *refused_exchanges()]))
 
 
@@ -239,8 +240,8 @@
 
 def without_start(exchange: bytes) -> bytes:
     """A capabilities answer with 0 for its Origin-State-Id, which is the time of the process's start."""
-    started = avps(exchange[HEADER:])[Code.ORIGIN_STATE_ID]
-    return exchange.replace(avp(Code.ORIGIN_STATE_ID, started), avp(Code.ORIGIN_STATE_ID, b"\0" * 4))
+    started = avps(exchange[HEADER:])[AvpCode.ORIGIN_STATE_ID]
+    return exchange.replace(avp(AvpCode.ORIGIN_STATE_ID, started), avp(AvpCode.ORIGIN_STATE_ID, b"\0" * 4))
 
 
 def answers() -> list[tuple[str, bytes]]:
@@ -274,16 +275,19 @@
     assert_golden(ANSWERS, hex_lines(answers()))
 
 
-def test_messages_are_made_as_the_standard_has_them() -> None:
+def test_messages_are_encoded_as_the_standard_specifies() -> None:
     """The codec against the independent one of the stand-ins."""
     made = Message(
-        codec.REQUEST,
-        Command.DEVICE_WATCHDOG,
+        codec.FLAG_REQUEST,
+        CommandCode.DEVICE_WATCHDOG,
         0,
         3,
         4,
-        codec.encode(
-            [codec.text(Code.ORIGIN_HOST, "node.example"), codec.text(Code.ORIGIN_REALM, "yoke.example")]
+        codec.encode_avps(
+            [
+                codec.text_avp(AvpCode.ORIGIN_HOST, "node.example"),
+                codec.text_avp(AvpCode.ORIGIN_REALM, "yoke.example"),
+            ]
         ),
     )
     assert made.encode() == message(0x80, 280, 0, 3, 4, BASE)
