Name the RESP upstream and its connection pool by the field's terms

Cause: the names and comments of the RESP upstream connection were house wording that an engineer new to on-call could not read.

Order of calls, writes and closes is as before. One test gained a type-ignore for the union of upstreams, as its neighbours have; otherwise tests only follow renames.

--- a/badgeryoke/gateway/resp/upstream_connection.py
+++ b/badgeryoke/gateway/resp/upstream_connection.py
@@ -1,7 +1,7 @@
-"""A backend on RESP2: a pool of connections, each of which carries one attempt at a time.
+"""An upstream on RESP2: a connection pool, each connection of which carries one attempt at a time.
 
-Written one behind another, attempts would be answered in order: a slow one would hold up the rest, and to
-abandon one, which takes closing its connection, would cost the others.
+Attempts are not pipelined.  Pipelined attempts would be answered in order, so a slow one would block those
+behind it, and abandoning one, which means closing its connection, would fail the others.
 """
 
 from __future__ import annotations
@@ -37,126 +37,147 @@
 
 log = logging.getLogger(__name__)
 
-IDLE_PART = 0.5  # of the settings' idle time a connection is kept: the backend may close it sooner
-# A connection is left alone for so long after an answer: its end may follow, or a second answer, which
-# nothing on the wire tells from the next attempt's.
-REST_S = 0.01
-BEGUN_MS = 50.0  # without a byte more of an answer that has begun: a length that does not fit, or no end
-STALLED_MS = 3000.0  # the same of a long value, whose length fits until it is shown that it does not
-RELAY_CHUNK = 16 * 1024  # read at once of a long value
-MOST_REPORT, MOST_FIGURE = 256, 1e9  # of a report: its length, and each of its figures
-MOST_OPENING = 8  # connections of one backend on their way up; further attempts wait for these or for others
-
-
-def encode(query: Request, safe: bool, left_ms: float) -> bytes:
-    """A query as a client would write it, with the time that this gateway will wait."""
-    fields = [f"c={query.cls}", f"t={query.plan}", f"d={max(math.ceil(left_ms), 1)}"]
-    if query.key:
-        fields.append(f"k={query.key}")
-    if query.retry:
+# Fraction of the configured idle timeout after which a connection is no longer reused: the backend may close
+# it earlier than configured.
+IDLE_FRACTION = 0.5
+# A connection is not reused for this long after a response: its end may follow, or a duplicate response, which
+# nothing on the wire distinguishes from the response to the next attempt.
+REST_INTERVAL_S = 0.01
+# Silence in the middle of a response that ends the attempt: a wrong length, or a response without an end.
+RESPONSE_SILENCE_TIMEOUT_MS = 50.0
+STREAM_SILENCE_TIMEOUT_MS = 3000.0  # the same for a streamed value
+STREAM_READ_BYTES = 16 * 1024  # read at once of a streamed value
+MAX_LOAD_REPORT_BYTES = 256
+MAX_LOAD_FIGURE = 1e9  # bound of each figure in a load report
+MAX_CONNECTING = (
+    8  # concurrent dials of one upstream; further attempts wait for these or for idle connections
+)
+MAX_READ_BUFFER_BYTES = 256 * 1024  # bound of the stream's read buffer
+
+
+def encode_request(request: Request, idempotent: bool, remaining_ms: float) -> bytes:
+    """Encode a request as a client would write it, with the time that this gateway will wait as its deadline."""
+    fields = [f"c={request.cls}", f"t={request.plan}", f"d={max(math.ceil(remaining_ms), 1)}"]
+    if request.key:
+        fields.append(f"k={request.key}")
+    if request.retry:
         fields.append("r=1")
-    fields.append(f"units={query.units:.7g},spread={query.spread},first={query.first}")
-    words = [
-        b"SVC.QUERY" if safe else b"SVC.SUBMIT",
-        b"%016x" % query.customer,
-        query.id.encode(),
+    fields.append(f"units={request.units:.7g},spread={request.spread},first={request.first}")
+    arguments = [
+        b"SVC.QUERY" if idempotent else b"SVC.SUBMIT",
+        b"%016x" % request.customer,
+        request.id.encode(),
         ",".join(fields).encode(),
     ]
-    if query.body is not None:
-        words.append(query.body)
-    return command(words)
+    if request.body is not None:
+        arguments.append(request.body)
+    return command(arguments)
 
 
-def read_report(text: bytes, names: tuple[str, ...]) -> tuple[float, ...]:
-    """The load report in the order of the settings' fields; empty where a field is missing."""
-    given = pairs(text[:MOST_REPORT])
+def parse_load_report(text: bytes, names: tuple[str, ...]) -> tuple[float, ...]:
+    """Return the load report in the order of the configured names; empty where one is missing."""
+    given = pairs(text[:MAX_LOAD_REPORT_BYTES])
     if not all(name in given for name in names):
         return ()
-    return tuple(number(given[name], MOST_FIGURE) for name in names)
+    return tuple(number(given[name], MAX_LOAD_FIGURE) for name in names)
 
 
 @dataclass(frozen=True, slots=True)
-class Settled:
-    """What an answer leaves behind: a complaint, and whether its connection can be used any further."""
+class ResponseOutcome:
+    """The fault found in a response, if any, and whether its connection can be reused."""
 
-    complaint: str = ""
+    fault: str = ""
     usable: bool = True
 
 
-def settle(execution: Attempt, reply: Value, names: tuple[str, ...], most_units: float) -> Settled:
-    """End an attempt by what came back for it."""
+def complete_attempt(
+    attempt: Attempt, reply: Value, report_names: tuple[str, ...], max_units: float
+) -> ResponseOutcome:
+    """End an attempt with the reply that came for it."""
     if isinstance(reply, ErrorReply):
-        words = reply.decode("ascii", "replace")
-        if words == "BUSY" or words.startswith("BUSY "):
-            execution.turned_away(words)
-            return Settled()
-        execution.error(words)
-        return Settled() if words.startswith("ERR failed") else Settled(f"error {words[:80]!r}", False)
+        error_text = reply.decode("ascii", "replace")
+        if error_text == "BUSY" or error_text.startswith("BUSY "):
+            attempt.turned_away(error_text)
+            return ResponseOutcome()
+        attempt.error(error_text)
+        return (
+            ResponseOutcome()
+            if error_text.startswith("ERR failed")
+            else ResponseOutcome(f"error {error_text[:80]!r}", False)
+        )
     if not isinstance(reply, list) or not 1 <= len(reply) <= 3 or type(reply[0]) not in (bytes, Passed):
-        execution.error("malformed answer")
-        return Settled("answer is not an array that begins with a value", False)
-    value = reply[0] if type(reply[0]) is bytes else b""  # a long one has been passed on
+        attempt.error("malformed answer")
+        return ResponseOutcome("answer is not an array that begins with a value", False)
+    value = reply[0] if type(reply[0]) is bytes else b""  # a streamed one has been forwarded already
     use, load = ([*reply[1:], None, None])[:2]
-    # Each figure by itself: one that cannot be read is none, and costs neither the other nor the answer.
+    # Cost and load report are parsed separately: an unreadable one is ignored, and the other and the response
+    # still count.
     cost = 0.0
     report: tuple[float, ...] = ()
-    complaint = ""
+    fault = ""
     try:
         if isinstance(use, bytes):
-            cost = number(pairs(use[:MOST_REPORT]).get("cost", "0"), most_units)
+            cost = number(pairs(use[:MAX_LOAD_REPORT_BYTES]).get("cost", "0"), max_units)
     except ValueError:
-        complaint = "figures on use unreadable"
+        fault = "figures on use unreadable"
     try:
         if isinstance(load, bytes):
-            report = read_report(load, names)
+            report = parse_load_report(load, report_names)
     except ValueError:
-        complaint = "load report unreadable"
+        fault = "load report unreadable"
     if not isinstance(use, bytes | None) or not isinstance(load, bytes | None):
-        complaint = "figures on use or load are no strings"
-    execution.served(value, cost, report)
-    return Settled(complaint)
-
-
-class _Connection:
-    """One connection of a pool.  Only its server link touches it."""
-
-    def __init__(self, owner: RespUpstream, address: tuple[str, int]) -> None:
-        self.owner = owner
-        self.execution: Attempt | None = None
-        self.used_at = 0.0
-        self.answered_at = -math.inf  # on the loop's clock, s
-        self.up = False
-        self.begun = False  # an answer has come in part
-        self.heard_at = 0.0  # when a byte of it came last
-        self.relay: ResponseStream | None = None  # a long value is on its way
-        self.room = asyncio.Event()  # the relay takes more; while it does not, nothing is read
-        self.paused = False
+        fault = "figures on use or load are no strings"
+    attempt.served(value, cost, report)
+    return ResponseOutcome(fault)
+
+
+class _PooledConnection:
+    """One connection of a pool.  Only its upstream touches it."""
+
+    def __init__(self, upstream: RespUpstream, address: tuple[str, int]) -> None:
+        self.upstream = upstream
+        self.attempt: Attempt | None = None
+        self.last_used_ms = 0.0
+        self.last_response_s = -math.inf  # on the event loop's clock
+        self.connected = False
+        self.response_started = False  # a part of the response has come
+        self.last_received_ms = 0.0  # when the last byte of it came
+        self.response_stream: ResponseStream | None = None  # set while a long value is being streamed
+        # Backpressure: nothing is read while the response stream is full; this event ends the wait.
+        self.stream_has_capacity = asyncio.Event()
+        self.backpressured = False
         self.parser = RespParser(max_items=8, max_long=MAX_LONG)
-        self.stream, coming_up = (dial if owner.lease is None else owner.lease.dial)(address, 256 * 1024)
-        on_close(self.stream, lambda: owner.post(owner.closed, self))
-        self._task = asyncio.ensure_future(self._live(coming_up))
+        self.stream, connecting = (dial if upstream.lease is None else upstream.lease.dial)(
+            address, MAX_READ_BUFFER_BYTES
+        )
+        on_close(self.stream, lambda: upstream.post(upstream.connection_closed, self))
+        self._task = asyncio.ensure_future(self._run(connecting))
 
-    async def _live(self, coming_up: asyncio.Future[IOStream]) -> None:
+    async def _run(self, connecting: asyncio.Future[IOStream]) -> None:
         try:
-            await coming_up
+            await connecting
         except (StreamClosedError, OSError):
             self.stream.close()
             return
-        self.owner.post(self.owner.opened, self)
+        self.upstream.post(self.upstream.connection_opened, self)
         with contextlib.suppress(StreamClosedError):
             while True:
-                chunk = READ_CHUNK if self.relay is None else RELAY_CHUNK
+                chunk = READ_CHUNK if self.response_stream is None else STREAM_READ_BYTES
                 data = await self.stream.read_bytes(chunk, partial=True)
-                self.owner.deliver(self.owner.arrived, self, data)
-                while self.relay is not None and self.relay.full and not self.stream.closed():
-                    self.paused = True
-                    self.room.clear()
-                    await self.room.wait()
-                    self.paused, self.heard_at = False, self.owner.now()
+                self.upstream.deliver(self.upstream.data_received, self, data)
+                while (
+                    self.response_stream is not None
+                    and self.response_stream.full
+                    and not self.stream.closed()
+                ):
+                    self.backpressured = True
+                    self.stream_has_capacity.clear()
+                    await self.stream_has_capacity.wait()
+                    self.backpressured, self.last_received_ms = False, self.upstream.now()
 
 
 class RespUpstream(Actor):
-    """One backend."""
+    """One backend: its connection pool and the attempts that wait for a connection."""
 
     def __init__(
         self,
@@ -168,343 +189,387 @@
         connect_ms: float,
         idle_ms: float,
         most: int,
-        most_units: float = MOST_FIGURE,
+        most_units: float = MAX_LOAD_FIGURE,
         room: BufferBudget | None = None,
         lease: UpstreamLease | None = None,
     ) -> None:
         super().__init__(loop)
-        # where the fleet keeps the server's limit: connections are opened and used under it alone
+        # Where the cluster enforces the server's connection limit, connections are opened and used only under a
+        # lease.
         self.lease = lease
-        self._room = room or BufferBudget(WINDOW)
+        self._buffer_budget = room or BufferBudget(WINDOW)
         self.address = address
-        self._most_units = most_units
-        self._clock, self._names = clock, report_names
-        self._connect_ms, self._idle_ms, self._most = connect_ms, idle_ms * IDLE_PART, most
-        self._idle: list[_Connection] = []
-        self._all: dict[_Connection, None] = {}
-        self._opening = 0
-        self._waiting: deque[Attempt] = deque()
-        self._resting = False  # a timer is set for the end of a connection's rest
-        self._closed = False
-        self._complained = False
+        self._max_units = most_units
+        self._clock, self._report_names = clock, report_names
+        self._connect_ms, self._idle_ms, self._max_connections = connect_ms, idle_ms * IDLE_FRACTION, most
+        self._idle: list[_PooledConnection] = []
+        self._connections: dict[_PooledConnection, None] = {}
+        self._connecting_count = 0
+        self._pending: deque[Attempt] = deque()
+        self._rest_timer_set = False  # a timer is set for the end of a connection's rest
+        self._draining = False
+        self._fault_logged = False
 
     def now(self) -> float:
-        """The clock, ms."""
+        """Return the clock's time in ms."""
         return self._clock()
 
     def retune(
         self, report_names: tuple[str, ...], connect_ms: float, idle_ms: float, most_units: float
     ) -> None:
-        """Go by new settings from the next attempt on."""
-        self._names, self._most_units = report_names, most_units
-        self._connect_ms, self._idle_ms = connect_ms, idle_ms * IDLE_PART
+        """Apply new settings from the next attempt on."""
+        self._report_names, self._max_units = report_names, most_units
+        self._connect_ms, self._idle_ms = connect_ms, idle_ms * IDLE_FRACTION
 
-    def start(self, execution: Attempt) -> None:
-        """Carry out an attempt on an idle connection, or on one opened for it."""
-        self.post(self._start, execution)
+    def start(self, attempt: Attempt) -> None:
+        """Send an attempt on an idle connection, or on one opened for it."""
+        self.post(self._start, attempt)
 
-    def _start(self, execution: Attempt) -> None:
-        if self._closed:
-            execution.lost("server is gone")
+    def _start(self, attempt: Attempt) -> None:
+        if self._draining:
+            attempt.lost("server is gone")
             return
-        self._waiting.append(execution)
-        self._serve()
-        if execution in self._waiting:
-            execution.on_abandon = lambda: self.post(self._unmet, execution)
-            self._loop.call_later(self._connect_ms / 1000.0, self.deliver, self._unmet, execution)
-            self._open()
-
-    def _serve(self) -> None:
-        """Write the attempts that wait, as far as connections are at rest."""
-        while self._waiting:
-            execution = self._waiting[0]
-            if execution.may_be_written(now := self._clock()):
-                if (connection := self._rested()) is None:
-                    self._await_rest()
+        self._pending.append(attempt)
+        self._dispatch_pending()
+        if attempt in self._pending:
+            attempt.on_abandon = lambda: self.post(self._connection_wait_expired, attempt)
+            self._loop.call_later(
+                self._connect_ms / 1000.0, self.deliver, self._connection_wait_expired, attempt
+            )
+            self._open_connections()
+
+    def _dispatch_pending(self) -> None:
+        """Send pending attempts while there are idle connections that have rested."""
+        while self._pending:
+            attempt = self._pending[0]
+            if attempt.may_be_written(now := self._clock()):
+                if (connection := self._take_idle_connection()) is None:
+                    self._schedule_rest_end()
                     return
-                self._waiting.popleft()
-                self._write(connection, execution, now)
-            # its client has left, or its time is up: nothing is opened for it, and no connection is used
+                self._pending.popleft()
+                self._send(connection, attempt, now)
+            # its client has disconnected or its deadline has passed: no connection is opened or used for it
             else:
-                self._waiting.popleft()
-                execution.on_abandon = None
-                execution.moot("too late to be sent")
+                self._pending.popleft()
+                attempt.on_abandon = None
+                attempt.moot("too late to be sent")
 
-    def _rested(self) -> _Connection | None:
-        """An idle connection that is sound and has rested: the last used of them, unless its server may be
-        closing even that."""
+    def _take_idle_connection(self) -> _PooledConnection | None:
+        """Take the most recently used idle connection that is clean and has rested; None if there is none.
+
+        One that has been idle for so long that its server may be closing it is closed instead.
+        """
         if self.lease is not None and not self.lease.is_held():
             return None
-        before, since = self._loop.time() - REST_S, self._clock() - self._idle_ms
-        for place in reversed(range(len(self._idle))):
-            if self._idle[place].answered_at <= before:
-                connection = self._idle.pop(place)
-                if connection.used_at >= since and self._sound(connection):
+        rested_before_s = self._loop.time() - REST_INTERVAL_S
+        used_since_ms = self._clock() - self._idle_ms
+        for index in reversed(range(len(self._idle))):
+            if self._idle[index].last_response_s <= rested_before_s:
+                connection = self._idle.pop(index)
+                if connection.last_used_ms >= used_since_ms and self._is_clean(connection):
                     return connection
                 connection.stream.close()
         return None
 
-    def _sound(self, connection: _Connection) -> bool:
-        """Whether a connection that nothing is out on is open, with nothing unread.
+    def _is_clean(self, connection: _PooledConnection) -> bool:
+        """Whether a connection with nothing in flight is open and has no unread bytes.
 
-        What lies unread in one belongs to no attempt: a second copy of the last answer would be taken for the
-        next one, and at its end the attempt would be lost though it may have run.
+        Unread bytes belong to no attempt: a duplicate of the last response would be taken for the response to
+        the next attempt, and at end of stream that attempt would be lost though it may have run.
         """
         unread = self._unread(connection)
         if unread:
-            self._complain("answered what nobody asked")
+            self._log_fault_once("sent an unsolicited response")
         return unread is None and not connection.stream.closed()
 
     @staticmethod
-    def _unread(connection: _Connection) -> bytes | None:
-        """What lies unread in a connection's socket; None where nothing does, empty at its end."""
+    def _unread(connection: _PooledConnection) -> bytes | None:
+        """Peek at unread bytes in a connection's socket: None if there are none, empty at end of stream."""
         try:
             return connection.stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
         except BlockingIOError:
             return None
-        except (OSError, AttributeError):  # broken, or closed with its end in the mailbox
+        except (OSError, AttributeError):  # broken, or closed while the close event is still in the mailbox
             return b""
 
-    def _await_rest(self) -> None:
-        """Attempts wait: look again when the first of the idle connections has rested."""
-        if self._idle and not self._resting and (self.lease is None or self.lease.is_held()):
-            self._resting = True
-            wait_s = min(one.answered_at for one in self._idle) + REST_S - self._loop.time()
-            self._loop.call_later(max(wait_s, 0.0), self.deliver, self._has_rested)
+    def _schedule_rest_end(self) -> None:
+        """Set a timer to dispatch pending attempts when the first idle connection has rested."""
+        if self._idle and not self._rest_timer_set and (self.lease is None or self.lease.is_held()):
+            self._rest_timer_set = True
+            wait_s = min(one.last_response_s for one in self._idle) + REST_INTERVAL_S - self._loop.time()
+            self._loop.call_later(max(wait_s, 0.0), self.deliver, self._rest_ended)
 
-    def _has_rested(self) -> None:
-        self._resting = False
-        self._serve()
+    def _rest_ended(self) -> None:
+        self._rest_timer_set = False
+        self._dispatch_pending()
 
-    def _open(self) -> None:
-        """As many connections as there are attempts waiting beyond those that will soon have rested,
-        within the bounds: a new one costs more time than the rest of an old one."""
+    def _open_connections(self) -> None:
+        """Open connections for the pending attempts that the idle connections will not serve, within the bounds.
+
+        Waiting for an idle connection's rest takes less time than dialling a new one.
+        """
         lease = self.lease
         while (
-            self._opening < min(len(self._waiting) - len(self._idle), MOST_OPENING)
-            and len(self._all) < self._most
+            self._connecting_count < min(len(self._pending) - len(self._idle), MAX_CONNECTING)
+            and len(self._connections) < self._max_connections
             and (lease is None or lease.may_open())
         ):
             try:
-                connection = _Connection(self, self.address)
+                connection = _PooledConnection(self, self.address)
             except OSError as fault:
-                self._complain(f"no socket: {fault}")
-                self._fail_waiting(f"no socket: {fault}", len(self._idle))
+                self._log_fault_once(f"no socket: {fault}")
+                self._fail_pending(f"no socket: {fault}", len(self._idle))
                 return
-            self._opening += 1
-            self._all[connection] = None
-            self._loop.call_later(self._connect_ms / 1000.0, self.deliver, self._too_late, connection)
-
-    def _unmet(self, execution: Attempt) -> None:
-        """No connection in time."""
-        if execution in self._waiting:
-            self._waiting.remove(execution)
-            execution.on_abandon = None
-            execution.lost("no connection in time")
-
-    def _too_late(self, connection: _Connection) -> None:
-        if not connection.up:
+            self._connecting_count += 1
+            self._connections[connection] = None
+            self._loop.call_later(
+                self._connect_ms / 1000.0, self.deliver, self._connect_timed_out, connection
+            )
+
+    def _connection_wait_expired(self, attempt: Attempt) -> None:
+        """Fail an attempt that got no connection in time."""
+        if attempt in self._pending:
+            self._pending.remove(attempt)
+            attempt.on_abandon = None
+            attempt.lost("no connection in time")
+
+    def _connect_timed_out(self, connection: _PooledConnection) -> None:
+        if not connection.connected:
             connection.stream.close()
 
-    def opened(self, connection: _Connection) -> None:
-        if connection not in self._all or connection.up:
+    def connection_opened(self, connection: _PooledConnection) -> None:
+        """Add a new connection to the pool."""
+        if connection not in self._connections or connection.connected:
             return
-        if not self._sound(connection):
-            # as one that was refused: dialled again at once, it would go round and round
+        if not self._is_clean(connection):
+            # treated as a refused connection: dialling again at once would loop without end
             connection.stream.close()
             return
-        connection.up = True
-        self._opening -= 1
-        self._free(connection)
-        self._open()  # one more of those that may be on their way at once
+        connection.connected = True
+        self._connecting_count -= 1
+        self._release(connection)
+        self._open_connections()  # MAX_CONNECTING allows one more now
 
-    def _free(self, connection: _Connection) -> None:
-        """Put a connection to the next use: an attempt that waits, or the pool."""
+    def _release(self, connection: _PooledConnection) -> None:
+        """Return a connection to the pool and dispatch pending attempts; close it if it is surplus."""
         lease = self.lease
-        if self._closed or (lease is not None and lease.surplus_count > 0):
+        if self._draining or (lease is not None and lease.surplus_count > 0):
             if lease is not None:
                 lease.surplus_count -= 1
             connection.stream.close()
             return
-        connection.used_at = self._clock()
+        connection.last_used_ms = self._clock()
         self._idle.append(connection)
-        self._serve()
-
-    def _write(self, connection: _Connection, execution: Attempt, now: float) -> None:
-        connection.begun = False
-        connection.execution = execution
-        execution.on_abandon = lambda: self.post(self._abandoned, connection, execution)
-        query = execution.query
-        data = encode(query, bool(query.safe), execution.deadline_ms - now)
-        execution.begun = True
+        self._dispatch_pending()
+
+    def _send(self, connection: _PooledConnection, attempt: Attempt, now: float) -> None:
+        connection.response_started = False
+        connection.attempt = attempt
+        attempt.on_abandon = lambda: self.post(self._attempt_abandoned, connection, attempt)
+        request = attempt.query
+        data = encode_request(request, bool(request.safe), attempt.deadline_ms - now)
+        attempt.begun = True
         future = connection.stream.write(data)
         if not future.done():
-            future.add_done_callback(lambda done: None if done.exception() else execution.written())
-            if execution.write_by_ms < execution.deadline_ms:
+            future.add_done_callback(lambda done: None if done.exception() else attempt.written())
+            if attempt.write_by_ms < attempt.deadline_ms:
                 self._loop.call_later(
-                    (execution.write_by_ms - now) / 1000.0, self.deliver, self._stuck, connection, execution
+                    (attempt.write_by_ms - now) / 1000.0,
+                    self.deliver,
+                    self._write_timed_out,
+                    connection,
+                    attempt,
                 )
-        elif future.exception() is None:  # else its connection had ended, and nothing is out whole
-            execution.written()
+        elif future.exception() is None:  # otherwise the connection had ended before the request was complete
+            attempt.written()
 
-    def _stuck(self, connection: _Connection, execution: Attempt) -> None:
-        """The last byte must not go out from now on: it is what begins the attempt at the backend."""
-        if connection.execution is execution and connection.stream.writing():
+    def _write_timed_out(self, connection: _PooledConnection, attempt: Attempt) -> None:
+        """Close a connection whose write has not finished in time.
+
+        The last byte of the request starts the attempt at the backend, so it must not be sent any later.
+        """
+        if connection.attempt is attempt and connection.stream.writing():
             connection.stream.close()
 
-    def arrived(self, connection: _Connection, data: bytes) -> None:
-        """Bytes of an answer.  The first whole value is the attempt's; with anything behind it, and where the
-        answer is spoilt, the connection is of no more use: what comes on it belongs to nobody knows what."""
-        if connection not in self._all:
+    def data_received(self, connection: _PooledConnection, data: bytes) -> None:
+        """Handle bytes of a response.
+
+        The first complete value is the response.  A connection that brings anything after it, or a malformed
+        response, is closed: bytes that come on it later could not be attributed to an attempt.
+        """
+        if connection not in self._connections:
             return
-        execution, parser = connection.execution, connection.parser
-        if execution is None or connection.stream.writing():
-            # What is not out whole has no answer.  Used on, the connection would take the rest of it to a
-            # backend that has turned it away, and another attempt may be out then.
-            self._complain("answered what nobody asked")
+        attempt, parser = connection.attempt, connection.parser
+        if attempt is None or connection.stream.writing():
+            # A request that was not sent completely has no response.  If the connection were reused, the rest of
+            # the request would reach a backend that has rejected it, while another attempt may be in flight.
+            self._log_fault_once("sent an unsolicited response")
             connection.stream.close()
             return
         values = parser.feed(data)
-        connection.heard_at = self._clock()
+        connection.last_received_ms = self._clock()
         if parser.long:
-            self._pass_on(connection, execution)
+            self._forward_stream(connection, attempt)
         if values:
-            connection.execution = execution.on_abandon = connection.relay = None
-            connection.begun, connection.answered_at = False, self._loop.time()
+            connection.attempt = attempt.on_abandon = connection.response_stream = None
+            connection.response_started, connection.last_response_s = False, self._loop.time()
             parser.forget_long()
-            settled = settle(execution, values[0], self._names, self._most_units)
-            if settled.complaint:
-                self._complain(settled.complaint)
+            outcome = complete_attempt(attempt, values[0], self._report_names, self._max_units)
+            if outcome.fault:
+                self._log_fault_once(outcome.fault)
             if len(values) > 1 or not parser.idle or parser.fault:
-                self._complain("brought more than its answer")
+                self._log_fault_once("sent data after its response")
                 connection.stream.close()
-            elif settled.usable:
-                self._free(connection)
+            elif outcome.usable:
+                self._release(connection)
             else:
                 connection.stream.close()
         elif parser.fault:
-            self._spoilt(connection, execution, f"broke the protocol: {parser.fault}")
-        elif not connection.begun:
-            connection.begun = True
-            self._loop.call_later(BEGUN_MS / 1000.0, self.deliver, self._unended, connection, execution)
-
-    def _pass_on(self, connection: _Connection, execution: Attempt) -> None:
-        """What has come of a long value."""
+            self._fail_malformed(connection, attempt, f"violated the protocol: {parser.fault}")
+        elif not connection.response_started:
+            connection.response_started = True
+            self._loop.call_later(
+                RESPONSE_SILENCE_TIMEOUT_MS / 1000.0,
+                self.deliver,
+                self._check_response_silence,
+                connection,
+                attempt,
+            )
+
+    def _forward_stream(self, connection: _PooledConnection, attempt: Attempt) -> None:
+        """Forward the received pieces of a long value to the response stream."""
         parser = connection.parser
         pieces, parser.pieces = parser.pieces, []
-        if connection.relay is None:
-            if not execution.query.streams:
-                parser.fault = parser.fault or "length out of bounds"  # nobody there can take it in pieces
+        if connection.response_stream is None:
+            if not attempt.query.streams:
+                parser.fault = parser.fault or "length out of bounds"  # this client protocol cannot stream
                 return
-            relay = connection.relay = ResponseStream(parser.long, self._room)
-            relay.on_room = connection.room.set
-            execution.begins(relay)
+            stream = connection.response_stream = ResponseStream(parser.long, self._buffer_budget)
+            stream.on_room = connection.stream_has_capacity.set
+            attempt.begins(stream)
         for piece in pieces:
-            connection.relay.put(piece)
+            connection.response_stream.put(piece)
         if parser.long_whole:
-            connection.relay.end()
-
-    def _unended(self, connection: _Connection, execution: Attempt) -> None:
-        """The rest of an answer has not come: a length that does not fit, or a value that has no end."""
-        if connection.begun and connection.execution is execution:
-            patience = BEGUN_MS if connection.relay is None else STALLED_MS
-            left = connection.heard_at + patience - self._clock()
-            if connection.paused or left > 0:
-                wait_s = (patience if connection.paused else left) / 1000.0
-                self._loop.call_later(wait_s, self.deliver, self._unended, connection, execution)
+            connection.response_stream.end()
+
+    def _check_response_silence(self, connection: _PooledConnection, attempt: Attempt) -> None:
+        """Check whether a response that has started has been silent for too long."""
+        if connection.response_started and connection.attempt is attempt:
+            timeout_ms = (
+                RESPONSE_SILENCE_TIMEOUT_MS
+                if connection.response_stream is None
+                else STREAM_SILENCE_TIMEOUT_MS
+            )
+            remaining_ms = connection.last_received_ms + timeout_ms - self._clock()
+            if connection.backpressured or remaining_ms > 0:
+                wait_s = (timeout_ms if connection.backpressured else remaining_ms) / 1000.0
+                self._loop.call_later(wait_s, self.deliver, self._check_response_silence, connection, attempt)
             else:
                 self._loop.call_soon(
-                    self.deliver, self._never_ended, connection, execution, connection.heard_at
+                    self.deliver, self._response_timed_out, connection, attempt, connection.last_received_ms
                 )
 
-    def _never_ended(self, connection: _Connection, execution: Attempt, heard_at: float) -> None:
-        """A late event loop comes to the timer first, and only then to what was there in time."""
-        if connection.begun and connection.execution is execution:
-            if connection.heard_at != heard_at or self._unread(connection):
-                self._loop.call_later(BEGUN_MS / 1000.0, self.deliver, self._unended, connection, execution)
+    def _response_timed_out(
+        self, connection: _PooledConnection, attempt: Attempt, last_received_ms: float
+    ) -> None:
+        """End the attempt unless bytes have come meanwhile.
+
+        A late event loop runs the timer before it reads bytes that arrived in time, so this runs one round
+        later and also peeks at the socket.
+        """
+        if connection.response_started and connection.attempt is attempt:
+            if connection.last_received_ms != last_received_ms or self._unread(connection):
+                self._loop.call_later(
+                    RESPONSE_SILENCE_TIMEOUT_MS / 1000.0,
+                    self.deliver,
+                    self._check_response_silence,
+                    connection,
+                    attempt,
+                )
             else:
-                self._spoilt(connection, execution, "began an answer and did not end it")
+                self._fail_malformed(connection, attempt, "sent an incomplete response")
 
-    def _spoilt(self, connection: _Connection, execution: Attempt, text: str) -> None:
-        """An answer that cannot be read: it may have run, and the connection is done with."""
-        self._complain(text)
-        connection.execution = execution.on_abandon = None
-        self._broken_off(connection, execution, lambda: execution.error("malformed answer"))
+    def _fail_malformed(self, connection: _PooledConnection, attempt: Attempt, text: str) -> None:
+        """End an attempt whose response cannot be parsed; it may have run.  Closes the connection."""
+        self._log_fault_once(text)
+        connection.attempt = attempt.on_abandon = None
+        self._finish_incomplete(connection, attempt, lambda: attempt.error("malformed answer"))
         connection.stream.close()
 
     @staticmethod
-    def _broken_off(connection: _Connection, execution: Attempt, end: Callable[[], None]) -> None:
-        """An attempt ends without the end of its answer; one whose long value came whole is served."""
-        relay, connection.relay = connection.relay, None
-        if relay is not None and relay.whole:
-            execution.served(b"")
+    def _finish_incomplete(connection: _PooledConnection, attempt: Attempt, end: Callable[[], None]) -> None:
+        """End an attempt whose response is incomplete; it still succeeds if its streamed value is complete."""
+        stream, connection.response_stream = connection.response_stream, None
+        if stream is not None and stream.whole:
+            attempt.served(b"")
             return
-        if relay is not None:
-            relay.fail()
+        if stream is not None:
+            stream.fail()
         end()
 
-    def _abandoned(self, connection: _Connection, execution: Attempt) -> None:
-        """Nobody waits any more: closing the connection ends the attempt at the backend."""
-        if connection.execution is execution:
-            connection.execution = connection.relay = None
-            connection.room.set()
+    def _attempt_abandoned(self, connection: _PooledConnection, attempt: Attempt) -> None:
+        """The caller no longer waits: closing the connection cancels the attempt at the backend."""
+        if connection.attempt is attempt:
+            connection.attempt = connection.response_stream = None
+            connection.stream_has_capacity.set()
             connection.stream.close()
 
-    def closed(self, connection: _Connection) -> None:
-        if connection not in self._all:
+    def connection_closed(self, connection: _PooledConnection) -> None:
+        """Remove a closed connection and end its attempt, if one was in flight."""
+        if connection not in self._connections:
             return
-        del self._all[connection]
+        del self._connections[connection]
         if connection in self._idle:
             self._idle.remove(connection)
-        execution, connection.execution = connection.execution, None
-        connection.room.set()
-        if execution is not None:
-            execution.on_abandon = None
+        attempt, connection.attempt = connection.attempt, None
+        connection.stream_has_capacity.set()
+        if attempt is not None:
+            attempt.on_abandon = None
             detail = str(connection.stream.error or "connection ended")
-            self._broken_off(connection, execution, lambda: execution.lost(detail))
-        if not connection.up:
-            self._opening -= 1
-            # Refused or never up: whoever waits is told at once, unless another connection is on its way.
-            if not self._opening:
-                self._fail_waiting(str(connection.stream.error or "no connection in time"), len(self._idle))
-            return  # dialled anew for each, they would be refused without end, and nobody be told
-        self._open()
-
-    def _fail_waiting(self, detail: str, but: int = 0) -> None:
-        """No connection will come for the attempts that wait, but for as many as there are resting ones."""
-        while len(self._waiting) > but:
-            execution = self._waiting.pop()
-            execution.on_abandon = None
-            execution.lost(detail)
-
-    def _complain(self, text: str) -> None:
-        """Log a backend's fault once."""
-        if not self._complained:
-            self._complained = True
+            self._finish_incomplete(connection, attempt, lambda: attempt.lost(detail))
+        if not connection.connected:
+            self._connecting_count -= 1
+            # Refused or timed out: pending attempts fail at once, unless another connection is being opened.
+            if not self._connecting_count:
+                self._fail_pending(str(connection.stream.error or "no connection in time"), len(self._idle))
+            return  # dialling again for each attempt would be refused without end, and no attempt would fail
+        self._open_connections()
+
+    def _fail_pending(self, detail: str, keep: int = 0) -> None:
+        """Fail pending attempts, except as many as `keep`: idle connections will serve those."""
+        while len(self._pending) > keep:
+            attempt = self._pending.pop()
+            attempt.on_abandon = None
+            attempt.lost(detail)
+
+    def _log_fault_once(self, text: str) -> None:
+        """Log the first fault of a backend, and no further ones."""
+        if not self._fault_logged:
+            self._fault_logged = True
             log.warning("server %s:%d %s", *self.address, text)
 
     def sweep(self) -> None:
-        """Close what has been idle for long; called now and then."""
+        """Close connections that have been idle for too long; called periodically."""
         self.post(self._sweep)
 
     def _sweep(self) -> None:
-        before = self._clock() - self._idle_ms
-        for connection in [c for c in self._idle if c.used_at < before]:
+        used_before_ms = self._clock() - self._idle_ms
+        for connection in [c for c in self._idle if c.last_used_ms < used_before_ms]:
             self._idle.remove(connection)
             connection.stream.close()
 
     @property
     def connections_needed(self) -> int:
         """See badgeryoke.gateway.cluster.upstream_lease.LeasedUpstream."""
-        return len(self._all) - len(self._idle) - self._opening + len(self._waiting)
+        return len(self._connections) - len(self._idle) - self._connecting_count + len(self._pending)
 
     def close_connections(self, count: int, include_in_use: bool) -> None:
         """See badgeryoke.gateway.cluster.upstream_lease.LeasedUpstream."""
-        self.post(self._shrink, count, include_in_use)
+        self.post(self._close_connections, count, include_in_use)
 
-    def _shrink(self, many: int, all_: bool) -> None:
-        busy = [one for one in self._all if one not in self._idle] if all_ else []
-        for connection in [*self._idle, *busy][:many]:  # the longest idle first
+    def _close_connections(self, count: int, include_in_use: bool) -> None:
+        in_use = [one for one in self._connections if one not in self._idle] if include_in_use else []
+        for connection in [*self._idle, *in_use][:count]:  # the longest idle first
             if connection in self._idle:
                 self._idle.remove(connection)
             if self.lease is not None:
@@ -513,26 +578,26 @@
 
     def capacity_available(self) -> None:
         """See badgeryoke.gateway.cluster.upstream_lease.LeasedUpstream."""
-        self.post(self._grown)
+        self.post(self._capacity_available)
 
-    def _grown(self) -> None:
-        self._serve()  # idle connections may be used again
-        self._open()
+    def _capacity_available(self) -> None:
+        self._dispatch_pending()  # idle connections may be used again
+        self._open_connections()
 
     def drain(self) -> None:
-        """The backend wants nothing new: what is written is waited for, nothing more is written."""
+        """Send nothing more; attempts in flight still get their responses."""
         self.post(self._drain_now)
 
     def _drain_now(self) -> None:
-        self._closed = True
-        self._fail_waiting("server is draining")
-        for connection in list(self._all):
-            if connection.execution is None:
+        self._draining = True
+        self._fail_pending("server is draining")
+        for connection in list(self._connections):
+            if connection.attempt is None:
                 connection.stream.close()
 
     def reopen(self) -> None:
-        """The backend is back in the list."""
+        """Accept attempts again: the backend is back in the endpoint list."""
         self.post(self._reopen)
 
     def _reopen(self) -> None:
-        self._closed = False
+        self._draining = False
--- a/tests/gateway/cluster/test_connection_leases.py
+++ b/tests/gateway/cluster/test_connection_leases.py
@@ -120,7 +120,7 @@
             server.ignores_close = ignores_close
             begun = boot_time_ms()
             attempt.abandon(Verdict.CANCELLED)
-            await wait_until(lambda: len(a.upstream._all) == 0)
+            await wait_until(lambda: len(a.upstream._connections) == 0)
             if ignores_close:
                 assert (a.open_connections, server.open_from("a")) == (1, 1)
             await wait_until(lambda: a.open_connections == 0)
@@ -142,7 +142,7 @@
                     a.leases.idle_ms = 1e7
                     attempt = a.start_attempt()
                     await wait_until(
-                        lambda: a.upstream._waiting
+                        lambda: a.upstream._pending
                     )  # for the lease; what is dialled under it is given up soon
                     a.use_short_connect_timeout()
                     await wait_until(lambda: a.open_connections == 1)
--- a/tests/gateway/resp/test_golden_resp.py
+++ b/tests/gateway/resp/test_golden_resp.py
@@ -278,13 +278,15 @@
         ends: list[AttemptEnd] = []
         execution = Attempt(QUERIES[0][1], 0, 1, NOW_MS, NOW_MS + 900.0, lambda _, end: ends.append(end))  # noqa: B023
         execution.written()
-        left = upstream_connection.settle(execution, reply, ("latency_ms", "inflight"), 6.0)
+        left = upstream_connection.complete_attempt(execution, reply, ("latency_ms", "inflight"), 6.0)
         lines.append(f"{name}: {canonical((ends, left))}")
     return lines
 
 
 def test_each_attempt_is_written_in_its_golden_bytes() -> None:
-    attempts = [(name, upstream_connection.encode(asked, safe, left)) for name, asked, safe, left in QUERIES]
+    attempts = [
+        (name, upstream_connection.encode_request(asked, safe, left)) for name, asked, safe, left in QUERIES
+    ]
     assert_golden(ATTEMPTS, escaped_lines([*attempts, *cancelled_attempt()]))
 
 
@@ -354,5 +356,5 @@
 def test_what_is_written_for_a_server_is_read_back_whole() -> None:
     """The golden bytes are sound RESP2: the parser of the other side finds one command in each."""
     for _, asked, safe, left in QUERIES:
-        [command] = RespParser().feed(upstream_connection.encode(asked, safe, left))
+        [command] = RespParser().feed(upstream_connection.encode_request(asked, safe, left))
         assert isinstance(command, list) and command[2] == asked.id.encode()
--- a/tests/gateway/resp/test_retries.py
+++ b/tests/gateway/resp/test_retries.py
@@ -26,7 +26,7 @@
 from badgeryoke.gateway.attempt import Attempt, AttemptEnd, Request
 from badgeryoke.gateway.dispatcher import Dispatcher, Response
 from badgeryoke.gateway.resp import upstream_connection
-from badgeryoke.gateway.resp.upstream_connection import BEGUN_MS, RespUpstream
+from badgeryoke.gateway.resp.upstream_connection import RESPONSE_SILENCE_TIMEOUT_MS, RespUpstream
 from tests.gateway.resp.test_client_connection import ask, play
 from tests.gateway.test_dispatcher import KEYED, UNSAFE, NoCounter
 from tests.gateway.test_service import until
@@ -91,7 +91,7 @@
         await read(made, b"first")
         made.send(GOOD)
         await until(lambda: self.link._idle)
-        self.link._idle[0].answered_at = 0.0
+        self.link._idle[0].last_response_s = 0.0
         self.ends.clear()
         return made
 
@@ -100,7 +100,7 @@
         one = self.start("long", LONG, **more)
         made = await self.accept()
         await until(lambda: one.begun)
-        assert next(iter(self.link._all)).stream.writing()
+        assert next(iter(self.link._connections)).stream.writing()
         return one, made
 
 
@@ -112,7 +112,7 @@
     finally:
         for one in (made.listener, *made.taken):
             one.close()
-        for connection in list(made.link._all):
+        for connection in list(made.link._connections):
             connection.stream.close()
 
 
@@ -162,13 +162,13 @@
     async def test() -> None:
         async with node() as at:
             made = await at.idle()
-            real = upstream_connection.encode
+            real = upstream_connection.encode_request
 
             def crossed(*args: Any) -> bytes:
                 reset(made)
                 return real(*args)
 
-            monkeypatch.setattr(upstream_connection, "encode", crossed)
+            monkeypatch.setattr(upstream_connection, "encode_request", crossed)
             at.start("r1")
             await until(lambda: at.ends)
             assert at.ends == [("r1", Verdict.CONNECT_FAILED, b"")]
@@ -252,14 +252,14 @@
 
     async def dialled() -> None:
         async with node() as at:
-            real, up = at.link.opened, asyncio.Event()
+            real, up = at.link.connection_opened, asyncio.Event()
 
             def opened(connection: Any) -> None:
                 asyncio.ensure_future(up.wait()).add_done_callback(
                     lambda _: at.link.deliver(real, connection)
                 )
 
-            at.link.opened = opened  # type: ignore[method-assign]
+            at.link.connection_opened = opened  # type: ignore[method-assign]
             one = at.start("r1")
             made = await at.accept()
             one.abandon(Verdict.CANCELLED, final=True)
@@ -313,15 +313,15 @@
             at.link.start(one)
             one.abandon(Verdict.CANCELLED, final=True)
             at.loop.run()
-            assert not at.link._all and not at.link._waiting
+            assert not at.link._connections and not at.link._pending
             await at.idle()
-            used_at = at.link._idle[0].used_at
+            used_at = at.link._idle[0].last_used_ms
             at.now += 1000.0
             one = Attempt(one.query, 1, 1, at.now, at.now + 60_000.0, at._ended)
             at.link.start(one)
             one.abandon(Verdict.CANCELLED, final=True)
             at.loop.run()
-            assert at.link._idle[0].used_at == used_at
+            assert at.link._idle[0].last_used_ms == used_at
 
     play(test)
 
@@ -331,12 +331,12 @@
 
     async def test() -> None:
         async with node() as at:
-            at.link._most = 1
+            at.link._max_connections = 1
             for n in range(1500):
                 at.start(f"r{n}")
             at.now += 60_000.0
             await until(lambda: len(at.ends) == 1500)
-            assert {end[1] for end in at.ends} == {Verdict.NOT_SENT} and not at.link._waiting
+            assert {end[1] for end in at.ends} == {Verdict.NOT_SENT} and not at.link._pending
 
     play(test)
 
@@ -347,7 +347,7 @@
 def test_a_second_answer_that_comes_late_is_no_other_attempts(monkeypatch: pytest.MonkeyPatch) -> None:
     """Where no other connection was idle, one was used at once after its answer: a second copy that came some
     milliseconds later was taken for the next request's."""
-    monkeypatch.setattr(upstream_connection, "REST_S", 60.0, raising=False)
+    monkeypatch.setattr(upstream_connection, "REST_INTERVAL_S", 60.0, raising=False)
 
     async def test() -> None:
         async with node() as at:
@@ -372,7 +372,7 @@
     async def test() -> None:
         async with node() as at:
             made = await at.idle()
-            at.link._idle[0].answered_at = at.loop.time()
+            at.link._idle[0].last_response_s = at.loop.time()
             at.start("r2")
             assert b"r2" in await read(made, b"r2") and await at.accepts_none()
 
@@ -386,7 +386,7 @@
 
     async def test() -> None:
         async with node() as at:
-            real = at.link.opened
+            real = at.link.connection_opened
 
             def late(connection: Any) -> None:  # the event loop is late: the end is there before
                 while True:
@@ -402,7 +402,7 @@
                     made.close()
                 real(connection)
 
-            at.link.opened = late  # type: ignore[method-assign]
+            at.link.connection_opened = late  # type: ignore[method-assign]
             at.start("r1")
             await until(lambda: at.ends or len(at.taken) > 20)
             assert [end[1] for end in at.ends] == [Verdict.CONNECT_FAILED] and len(at.taken) == 1
@@ -436,7 +436,7 @@
             with monkeypatch.context() as full:
                 full.setattr(actor, "new_socket", none)
                 at.start("r1")
-                assert [end[1] for end in at.ends] == [Verdict.CONNECT_FAILED] and not at.link._all
+                assert [end[1] for end in at.ends] == [Verdict.CONNECT_FAILED] and not at.link._connections
             at.start("r2")
             assert b"r2" in await read(await at.accept(), b"r2")
 
@@ -452,10 +452,10 @@
             made = await at.accept()
             await read(made, b"r1")
             made.send(GOOD[:6])
-            await until(lambda: any(one.begun for one in at.link._all))
+            await until(lambda: any(one.response_started for one in at.link._connections))
             made.send(GOOD[6:])
-            at.now += BEGUN_MS
-            time.sleep(BEGUN_MS / 1000.0)
+            at.now += RESPONSE_SILENCE_TIMEOUT_MS
+            time.sleep(RESPONSE_SILENCE_TIMEOUT_MS / 1000.0)
             await until(lambda: at.ends)
             assert at.ends == [("r1", Verdict.OK, b"good")]
 
@@ -485,7 +485,7 @@
             other.send(GOOD)
             await until(lambda: sound.ends and at.ends)
             assert [end[1] for end in at.ends] == [Verdict.ERROR] and sound.ends[0][2] == b"good"
-            await until(lambda: not at.link._all)
+            await until(lambda: not at.link._connections)
             assert sent < 2_000_000
 
     play(test)
@@ -534,13 +534,15 @@
             await read(await first.accept(), b"r1")
             await second.idle()
             ended: list[bool] = []
-            write = second.link._write
+            write = second.link._send
 
             def written(*args: Any) -> None:
-                ended.append(not first.link._all or all(one.stream.closed() for one in first.link._all))
+                ended.append(
+                    not first.link._connections or all(one.stream.closed() for one in first.link._connections)
+                )
                 write(*args)
 
-            second.link._write = written  # type: ignore[method-assign, assignment]
+            second.link._send = written  # type: ignore[method-assign, assignment]
             scheduled = asyncio.get_running_loop()._scheduled  # type: ignore[attr-defined]
             [timer] = [one for one in scheduled if Verdict.TIMEOUT in (one._args or ())]
             made.post(lambda: None)  # both have mail, and the event loop comes to the timer first
@@ -573,7 +575,7 @@
                     made.start(f"r{n}")
                 await until(lambda: len(made.ends) == many)
             assert {end[1] for end in made.ends} == {Verdict.CONNECT_FAILED}
-            assert len(dials) <= upstream_connection.MOST_OPENING and not made.link._opening
+            assert len(dials) <= upstream_connection.MAX_CONNECTING and not made.link._connecting_count
 
     play(test)
 
@@ -584,12 +586,12 @@
 
     async def test() -> None:
         async with node() as made:
-            made.link._most = 20
+            made.link._max_connections = 20
             for n in range(20):
                 made.start(f"r{n}")
             for _ in range(20):
                 await made.accept()
-            await until(lambda: not made.link._waiting)
-            assert len(made.link._all) == 20 and not made.ends
+            await until(lambda: not made.link._pending)
+            assert len(made.link._connections) == 20 and not made.ends
 
     play(test)
--- a/tests/gateway/test_faults_by_stage.py
+++ b/tests/gateway/test_faults_by_stage.py
@@ -126,7 +126,7 @@
         for link in list(self.app._front.links):
             link._stream.close()
         for _, server in self.app._links.values():
-            for connection in list(server._all):  # type: ignore[union-attr]
+            for connection in list(server._connections):  # type: ignore[union-attr]
                 connection.stream.close()
         counter = self.app._counter
         assert counter is not None
@@ -171,9 +171,9 @@
 async def not_yet_written(at: World) -> None:
     """The connection to the server does not come up."""
     link = at.app._links[1][1]
-    link._open = lambda: None  # type: ignore[method-assign, union-attr]
+    link._open_connections = lambda: None  # type: ignore[method-assign, union-attr]
     await at.begin()
-    await until(lambda: link._waiting)
+    await until(lambda: link._pending)  # type: ignore[union-attr]
 
 
 async def partly_written(at: World) -> None:
@@ -181,8 +181,8 @@
     at.node.server.sockets[0].setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
     await at.begin(BODY)
     link = at.app._links[1][1]
-    await until(lambda: any(one.execution for one in link._all))  # type: ignore[union-attr]
-    assert next(iter(link._all)).stream.writing()  # type: ignore[union-attr]
+    await until(lambda: any(one.attempt for one in link._connections))  # type: ignore[union-attr]
+    assert next(iter(link._connections)).stream.writing()  # type: ignore[union-attr]
 
 
 async def written_whole(at: World) -> None:
@@ -195,7 +195,7 @@
     at.node.writers[0].write(at.node.rest[:10])
     at.node.rest = at.node.rest[10:]
     link = at.app._links[1][1]
-    await until(lambda: any(one.begun for one in link._all))  # type: ignore[union-attr]
+    await until(lambda: any(one.response_started for one in link._connections))  # type: ignore[union-attr]
 
 
 async def answered_not_settled(at: World) -> None:
@@ -321,8 +321,8 @@
                 event.set()
             if stage is not_yet_written:
                 link = at.app._links[1][1]
-                vars(link).pop("_open", None)
-                link.post(link._open)  # type: ignore[union-attr]
+                vars(link).pop("_open_connections", None)
+                link.post(link._open_connections)  # type: ignore[union-attr]
             if fault not in (client_leaves, crashes):
                 await until(lambda: at.told)
             assert at.node.whole <= 1 and len(at.told) <= 1  # one whole attempt, one final answer
--- a/tests/gateway/test_response_stream.py
+++ b/tests/gateway/test_response_stream.py
@@ -134,7 +134,7 @@
                 await until(lambda: relay.full)
                 for n in range(20):
                     assert await ask(app, query(f"beside{n}")) == [b"value"]
-                    assert relay.held <= WINDOW + server_link_module.RELAY_CHUNK * 4
+                    assert relay.held <= WINDOW + server_link_module.STREAM_READ_BYTES * 4
                 slow.setblocking(False)
                 got = bytearray()
                 loop = asyncio.get_running_loop()
@@ -151,7 +151,9 @@
 def test_a_value_that_breaks_midway_ends_so_that_the_client_can_tell(
     how: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(server_link_module, "STALLED_MS", 100.0 if how == "stall" else 60_000.0)
+    monkeypatch.setattr(
+        server_link_module, "STREAM_SILENCE_TIMEOUT_MS", 100.0 if how == "stall" else 60_000.0
+    )
 
     async def test() -> None:
         async with one_gateway(script=[None]) as (app, node, _):
--- a/tests/gateway/test_service.py
+++ b/tests/gateway/test_service.py
@@ -24,7 +24,7 @@
 from badgeryoke.gateway.config.platform_file import Config, ConfigError
 from badgeryoke.gateway.resp import listener as front_module
 from badgeryoke.gateway.resp.client_connection import MOST_FAULTS
-from badgeryoke.gateway.resp.upstream_connection import RespUpstream, settle
+from badgeryoke.gateway.resp.upstream_connection import RespUpstream, complete_attempt
 from tests.decisions.test_simulator_adapter import PARAMS
 from tests.gateway.resp.test_client_connection import ask, play
 from tests.gateway.test_counter_and_discovery import Calls
@@ -472,7 +472,7 @@
             os.write(raw.fileno(), GOOD)
             link = next(iter(app._links.values()))[1]
             assert isinstance(link, RespUpstream)
-            assert link._rested() is None
+            assert link._take_idle_connection() is None
             writer.write(query("r2"))
             assert await read_reply(reader) == b"value"
 
@@ -526,6 +526,6 @@
     asked = Request("r", "c", "p", 1, 1.0, 1.0, 1)
     execution = Attempt(asked, 0, 1, 0.0, 1.0, lambda _, end: ends.append(end))
     execution.written()
-    assert settle(execution, [b"good", use, load], ("latency_ms", "inflight"), 6.0).usable
+    assert complete_attempt(execution, [b"good", use, load], ("latency_ms", "inflight"), 6.0).usable
     [end] = ends
     assert (end.verdict, end.value, end.true_units, end.report) == (Verdict.OK, b"good", units, report)
