--- a/badgeryoke/gateway/quota_counter/client.py
+++ b/badgeryoke/gateway/quota_counter/client.py
@@ -269,7 +269,7 @@
                 return
         if parser.fault:
             self._give_up(connection, f"broke the protocol: {parser.fault}")
-        elif not in_flight and not parser.idle:
+        elif not in_flight and not parser.is_idle:
             self._give_up(connection, "began a reply without a call")
         elif connection is not self._active and not in_flight:
             connection.stream.close()  # the counter has moved, and no reply is due here
--- a/badgeryoke/gateway/quota_counter/connection.py
+++ b/badgeryoke/gateway/quota_counter/connection.py
@@ -105,7 +105,7 @@
         return bool(
             self.in_flight
             and self.in_flight[0].ended
-            and not self.parser.idle
+            and not self.parser.is_idle
             and now_ms - self.last_read_at_ms >= timeout_ms
         )
 
--- a/badgeryoke/gateway/resp/client_connection.py
+++ b/badgeryoke/gateway/resp/client_connection.py
@@ -1,4 +1,4 @@
-"""The platform's front: one RESP2 connection of a client, and the listener that accepts them."""
+"""One RESP2 connection of a client: pipelined requests in, responses out in the same order."""
 
 from __future__ import annotations
 
@@ -19,51 +19,51 @@
 from badgeryoke.gateway.attempt import Request, customer_number
 from badgeryoke.gateway.dispatcher import Dispatcher, Rejected, Response, Served, Streaming
 from badgeryoke.gateway.resp.codec import (
-    MAX_BULK,
+    MAX_BULK_BYTES,
     RespParser,
     Value,
     bulk,
     error,
-    number,
-    pairs,
-    whole_number,
+    parse_integer,
+    parse_number,
+    parse_pairs,
 )
 from badgeryoke.gateway.response_stream import ResponseStream
 
 log = logging.getLogger(__name__)
 N = TypeVar("N", int, float)
 
-COMMANDS = {b"SVC.QUERY": True, b"SVC.SUBMIT": False}  # whether for classes that are safe to repeat
-WORD = re.compile(r"[!-+\--~]{1,64}")  # an id or a key: printable, with no blank or comma
-MOST_LISTED = 1024  # bytes of a list of names and values
-MOST_FAULTS = 3  # commands refused as malformed on one connection, after which it is closed
-MOST_MS, MOST_UNITS, MOST_GATEWAYS = 1e7, 1e6, 1_000_000  # the core knows narrower bounds
-LINGER_S = 0.2  # for the client to fetch its last answer and close
-# A connection that is to end takes what still comes for so long.  What comes later is refused at once, and
-# one that never stops asking is cut off behind an answer: what lies behind that was not read.  A new one has
-# so long to ask its first.
-END_TAKES_S, END_FIRST_S = 1.0, 0.5
-MOST_WAITING = 64  # commands of one connection that wait for their answers; more are not read meanwhile
-# Bytes that are read, and taken, in one turn: hundreds of commands at once would keep all others waiting.
-# The streams read by the same measure, so that nothing lies between the socket and the turn.
-READ_AT_ONCE = 4096
-LOOK_S = 0.05  # while no more is read of a client, whether it has gone is looked at so often
-MOST_UNSENT = (
-    128 * 1024
-)  # bytes given to the stream that its client has not fetched; a single answer may be longer
-PIECE = 32 * 1024  # of a long value is written at once; the next when this one has gone out
+COMMANDS = {b"SVC.QUERY": True, b"SVC.SUBMIT": False}  # whether for idempotent request classes
+# A request id or an idempotency key: printable, without blank or comma.
+REQUEST_ID_PATTERN = re.compile(r"[!-+\--~]{1,64}")
+MAX_FIELD_LIST_BYTES = 1024  # bytes of a list of names and values
+MAX_MALFORMED_COMMANDS = 3  # on one connection, which is then closed
+# Syntactic bounds; the dispatcher has narrower ones.
+MAX_DEADLINE_MS, MAX_UNITS, MAX_GATEWAYS = 1e7, 1e6, 1_000_000
+LINGER_S = 0.2  # for the client to fetch its last response and close
+# A draining connection still accepts requests for DRAIN_GRACE_S.  Later ones are rejected at once, and a client
+# that never stops sending is cut off after a response: what follows was not read.  A new connection has
+# FIRST_REQUEST_GRACE_S to send its first request.
+DRAIN_GRACE_S, FIRST_REQUEST_GRACE_S = 1.0, 0.5
+MAX_PIPELINED_REQUESTS = 64  # unanswered requests of one connection, beyond which nothing more is read
+# Bytes read and handled in one turn: hundreds of commands at once would block all other connections.  The
+# streams read chunks of the same size, so that no bytes are buffered between the socket and the turn.
+READ_CHUNK_BYTES = 4096
+DISCONNECT_CHECK_INTERVAL_S = 0.05  # while backpressure stops reading from a client
+MAX_UNSENT_BYTES = 128 * 1024  # written but not fetched by the client; a single response may be longer
+STREAM_CHUNK_BYTES = 32 * 1024  # written at once of a streamed value; the next chunk when this one is sent
 PONG, OK = b"+PONG\r\n", b"+OK\r\n"
 
 
 def read_request(words: list[Value]) -> Request:
-    """A query from a command's words; raises ValueError that says what is wrong."""
+    """Parse a request from a command's arguments; raises ValueError that says what is wrong."""
     if not 4 <= len(words) <= 5 or not all(type(word) is bytes for word in words):
         raise ValueError("expected CUSTOMER ID LIST and at most a body")
     name, customer, rid, listed = (bytes(word) for word in words[:4] if isinstance(word, bytes))
     safe = COMMANDS[name.upper()]
-    if len(listed) > MOST_LISTED:
+    if len(listed) > MAX_FIELD_LIST_BYTES:
         raise ValueError("list too long")
-    given = pairs(listed)
+    given = parse_pairs(listed)
     key, retry = given.get("k", ""), given.get("r", "0")
     try:
         query = Request(
@@ -71,10 +71,10 @@
             cls=given["c"],
             plan=given["t"],
             customer=customer_number(customer),
-            remaining_ms=_field("d", number, given["d"], MOST_MS),
-            units=_field("units", number, given["units"], MOST_UNITS),
-            spread=_field("spread", whole_number, given["spread"], MOST_GATEWAYS),
-            first=_field("first", whole_number, given["first"], MOST_GATEWAYS),
+            remaining_ms=_parse_field("d", parse_number, given["d"], MAX_DEADLINE_MS),
+            units=_parse_field("units", parse_number, given["units"], MAX_UNITS),
+            spread=_parse_field("spread", parse_integer, given["spread"], MAX_GATEWAYS),
+            first=_parse_field("first", parse_integer, given["first"], MAX_GATEWAYS),
             retry=retry == "1",
             key=key,
             safe=safe,
@@ -82,62 +82,67 @@
         )
     except KeyError as missing:
         raise ValueError(f"no {missing.args[0]} in the list") from None
-    if not WORD.fullmatch(query.id) or (key and not WORD.fullmatch(key)) or retry not in ("0", "1"):
+    if (
+        not REQUEST_ID_PATTERN.fullmatch(query.id)
+        or (key and not REQUEST_ID_PATTERN.fullmatch(key))
+        or retry not in ("0", "1")
+    ):
         raise ValueError("id, k or r malformed")
     if len(words) == 5 and isinstance(words[4], bytes):
         query.body = words[4]
     return query
 
 
-def _field(name: str, read: Callable[[str, N], N], text: str, most: N) -> N:
+def _parse_field(name: str, read: Callable[[str, N], N], text: str, most: N) -> N:
     try:
         return read(text, most)
     except ValueError as fault:
         raise ValueError(f"{name}: {fault}") from None
 
 
-def encode(answer: Response) -> bytes:
-    """A final answer on this wire; of a long value the head."""
-    match answer:
+def encode_response(response: Response) -> bytes:
+    """Encode a final response; of a streamed value only the header."""
+    match response:
         case Streaming(relay=relay):
             return b"$%d\r\n" % relay.length
         case Served(value=value):
             return bulk(value)
         case Rejected(retry_after_ms=wait):
             return b"-BUSY %d\r\n" % max(round(wait), 1)
-    return error(f"ERR failed {answer.detail}")
+    return error(f"ERR failed {response.detail}")
 
 
-def _unread(stream: IOStream) -> bool:
-    """Whether a client's bytes wait in the socket: they may be a command that it counts as taken."""
+def _has_unread_data(stream: IOStream) -> bool:
+    """Whether the socket has unread bytes: they may be a request that the client regards as sent."""
     try:
         return bool(stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
     except OSError:
         return False
 
 
-def _hung_up(stream: IOStream) -> bool:
-    """Whether a client has ended its sending, however much lies unread before that end."""
-    if stream.closed():  # it still gives what it has read
+def _peer_has_closed(stream: IOStream) -> bool:
+    """Whether the client has closed its sending side, even if unread bytes precede that end."""
+    if stream.closed():  # a closed stream still returns what it has buffered
         return True
     look = select.poll()
     look.register(stream.socket, select.POLLRDHUP)
     return bool(look.poll(0))
 
 
-class _Slot:
-    """The place of one command in the order of answers."""
+class _ResponseSlot:
+    """The place of one pipelined request in the order of responses."""
 
-    __slots__ = ("left", "relay", "reply")
+    __slots__ = ("notify_disconnected", "reply", "response_stream")
 
     def __init__(self, reply: bytes | None = None) -> None:
         self.reply = reply
-        self.left: Callable[[], None] | None = None  # tells the core that the client has gone
-        self.relay: ResponseStream | None = None  # a long value that comes in pieces
+        # Tells the dispatcher that the client has disconnected.
+        self.notify_disconnected: Callable[[], None] | None = None
+        self.response_stream: ResponseStream | None = None  # set for a streamed value
 
 
 class RespClientConnection(Actor):
-    """One connection: commands in, answers out in the commands' order, one write a turn."""
+    """One client connection: responses are sent in request order, with one write per turn."""
 
     def __init__(
         self,
@@ -148,229 +153,242 @@
         closed: Callable[[RespClientConnection], None],
     ) -> None:
         super().__init__(loop)
-        self._stream, self._core, self._ready, self._closed = stream, core, ready, closed
-        self._parser = RespParser(max_items=5, max_depth=1, max_total=MAX_BULK + 2 * MOST_LISTED)
-        self._faults = 0
-        self._slots: deque[_Slot] = deque()
-        self._ending = False  # closes once what was taken is answered
-        self._broken = self._finished = False  # nothing that comes then can be taken
-        self._refusing = False  # what comes is refused
-        self._late = False  # it should have ended: what comes is refused, and what is unread stays so
-        self._taking = False  # what was read last is in its turn
-        self._unsent = 0  # bytes written to the stream that the client's socket has not taken
-        self._told_at = -math.inf  # when an answer was last written
-        self._room = asyncio.Event()
-        self.spoke = False  # a whole command has come
-        self.idle_since = loop.time()  # when it last had a command open, or was opened
-        self.unread_since = math.inf  # since when answers wait for the client to fetch them
-        self.opened_at = self.idle_since
-        self._leaving = False  # it is to end between requests
-        self.begun_at = self.idle_since  # since when a command is on its way in, the first from the start
-        stream.set_close_callback(lambda: self.post(self._gone))
+        self._stream, self._dispatcher, self._is_ready, self._on_closed = stream, core, ready, closed
+        self._parser = RespParser(
+            max_items=5, max_depth=1, max_total=MAX_BULK_BYTES + 2 * MAX_FIELD_LIST_BYTES
+        )
+        self._malformed_count = 0
+        self._slots: deque[_ResponseSlot] = deque()
+        self._closing = False  # closes once all accepted requests are answered
+        self._input_ended = self._output_ended = False  # further input is ignored
+        self._rejecting = False  # new requests are rejected
+        self._grace_expired = False  # new requests are rejected, and unread bytes are not waited for
+        self._handling_data = False  # the last chunk read is being handled
+        self._unsent_bytes = 0  # written to the stream but not yet to the socket
+        self._last_write_s = -math.inf  # when a response was last written
+        self._may_read = asyncio.Event()
+        self.has_sent_command = False  # a complete command has been received
+        self.idle_since_s = loop.time()  # when it last had a request in flight, or was opened
+        self.unfetched_since_s = math.inf  # since when responses wait for the client to fetch them
+        self.opened_at_s = self.idle_since_s
+        self._draining = False  # it closes between requests
+        # Start of the command being received; the first command counts from the start of the connection.
+        self.command_started_s = self.idle_since_s
+        stream.set_close_callback(lambda: self.post(self._disconnected))
 
     @property
-    def idle(self) -> bool:
-        """Whether nothing is open, on its way in or on its way out: the connection may be closed."""
-        if self._stream.closed() or self._slots or self._mail or not self._parser.idle or self._ending:
+    def is_idle(self) -> bool:
+        """Whether nothing is in flight, being received or being sent: the connection may be closed."""
+        if self._stream.closed() or self._slots or self._mail or not self._parser.is_idle or self._closing:
             return False
-        return not self._stream.writing() and not self._in_hand and not _unread(self._stream)
+        return (
+            not self._stream.writing() and not self._has_unhandled_data and not _has_unread_data(self._stream)
+        )
 
     @property
-    def _in_hand(self) -> bool:
-        """Whether bytes may have left the socket that had no turn yet: a reading is done one round of the
-        event loop before whoever waits for it goes on."""
-        return not self._stream.reading() and not self._taking
+    def _has_unhandled_data(self) -> bool:
+        """Whether bytes may have been read from the socket but not handled yet.
+
+        A read completes one round of the event loop before the coroutine that awaits it continues.
+        """
+        return not self._stream.reading() and not self._handling_data
 
     @property
-    def _held_back(self) -> bool:
-        """Whether no more is read for now."""
-        return len(self._slots) >= MOST_WAITING or (self._broken and bool(self._slots))
+    def _backpressured(self) -> bool:
+        """Whether reading is suspended for now."""
+        return len(self._slots) >= MAX_PIPELINED_REQUESTS or (self._input_ended and bool(self._slots))
 
     @property
-    def held(self) -> int:
-        """Bytes held of a command that is not whole, and ..."""
-        return self._parser.held + self.unfetched
+    def buffered_bytes(self) -> int:
+        """Bytes buffered of an incomplete command and of unfetched responses."""
+        return self._parser.buffered_bytes + self.unfetched_bytes
 
     @property
-    def unfetched(self) -> int:
-        """... of answers that wait for the client, or for one ahead of them."""
-        return self._unsent + sum(len(slot.reply) for slot in self._slots if slot.reply)
+    def unfetched_bytes(self) -> int:
+        """Bytes of responses that wait for the client, or for a response ahead of them."""
+        return self._unsent_bytes + sum(len(slot.reply) for slot in self._slots if slot.reply)
 
     @property
-    def passing(self) -> bool:
-        """Whether a long value is on its way out."""
-        return bool(self._slots) and self._slots[0].relay is not None
+    def is_streaming(self) -> bool:
+        """Whether a streamed value is being sent."""
+        return bool(self._slots) and self._slots[0].response_stream is not None
 
     def abort(self) -> None:
-        """Close at once: one that is idle, or whose client does not fetch its answers, so that nothing it
-        asks could reach it."""
+        """Close at once: for an idle connection, or one whose client does not fetch its responses."""
         self._stream.close()
 
-    def drop(self) -> None:
-        """Close a connection that holds half a command which does not come to its end, or none.  One that
-        owes answers gives them first, and what lies unread may be the rest: it is taken, and the next call
-        looks."""
+    def close_incomplete(self) -> None:
+        """Close a connection whose command stays incomplete, or that is idle.
+
+        Pending responses are sent first.  Unread bytes may be the rest of the command: they are handled, and
+        the next call checks again.
+        """
         if self._slots:
-            self.end_late()
-        elif not self._in_hand and not _unread(self._stream):
+            self.drain_now()
+        elif not self._has_unhandled_data and not _has_unread_data(self._stream):
             self._stream.close()
 
-    def turn_away(self) -> None:
-        """There is no place for it: what it asks first is refused, and it ends."""
-        self.post(self._turn_away)
+    def reject(self) -> None:
+        """Reject the requests of a connection beyond the bound, and close it."""
+        self.post(self._reject)
 
     async def serve(self) -> None:
-        """Read until the connection ends, and no further while too many commands wait for their answers.
+        """Read until the connection closes; reading is suspended while too many requests are unanswered.
 
-        The end of the client's sending counts as its leaving: closed or only ended, the other machine sends
-        the same FIN, and the protocol has clients that close and none that end their sending and still read.
+        A half-closed connection counts as a disconnect: a full close and a half close send the same FIN, and
+        clients of this protocol close fully and never half-close to read on.
         """
         reading: asyncio.Future[bytes] | None = None
         try:
             while True:
-                reading = asyncio.ensure_future(self._stream.read_bytes(READ_AT_ONCE, partial=True))
-                if (
-                    reading.done()
-                ):  # it lay there: others have their turn, or who sends on and on has the event loop
+                reading = asyncio.ensure_future(self._stream.read_bytes(READ_CHUNK_BYTES, partial=True))
+                if reading.done():
+                    # Data was ready: yield, so that a client that sends without pause does not hold the event loop.
                     await asyncio.sleep(0)
-                elif self._ending:
-                    self.post(self._moved)  # nothing is in hand any more
+                elif self._closing:
+                    self.post(self._wake_up)  # no read data is unhandled any more
                 data = await reading
-                if len(data) >= READ_AT_ONCE and _hung_up(self._stream):
-                    self._stream.close()  # what it sent before it left is of no use to anybody
-                self._taking = True
-                self.deliver(self._take, data)
-                self._taking = False
-                if self._held_back:
-                    self.begun_at = math.inf  # that the rest does not come is not the client's doing
-                    await self._pause()
-                    if not self._parser.idle:
-                        self.begun_at = self._loop.time()
-        except OSError:  # the stream's own end among them
+                if len(data) >= READ_CHUNK_BYTES and _peer_has_closed(self._stream):
+                    self._stream.close()  # nobody is left to receive responses to what it sent
+                self._handling_data = True
+                self.deliver(self._data_received, data)
+                self._handling_data = False
+                if self._backpressured:
+                    # The gateway, not the client, delays the rest of the command.
+                    self.command_started_s = math.inf
+                    await self._wait_for_capacity()
+                    if not self._parser.is_idle:
+                        self.command_started_s = self._loop.time()
+        except OSError:  # including the end of the stream
             pass
         finally:
-            reading = None  # its exception holds this frame, and so all of the link until the next collection
+            # Its exception refers to this frame and would keep the connection alive until a garbage collection.
+            reading = None
 
-    async def _pause(self) -> None:
-        """Go on when there is room.  That the client has left must not wait until what it sent before is
-        read."""
-        while self._held_back and not self._stream.closed():
-            if _hung_up(self._stream):
+    async def _wait_for_capacity(self) -> None:
+        """Wait until reading may continue, and check meanwhile whether the client has disconnected."""
+        while self._backpressured and not self._stream.closed():
+            if _peer_has_closed(self._stream):
                 self._stream.close()
-            self._room.clear()
-            timer = self._loop.call_later(LOOK_S, self._room.set)
-            await self._room.wait()
+            self._may_read.clear()
+            timer = self._loop.call_later(DISCONNECT_CHECK_INTERVAL_S, self._may_read.set)
+            await self._may_read.wait()
             timer.cancel()
 
-    def _take(self, data: bytes) -> None:
-        # A closed stream still gives what it has read: its client has gone, and nothing may begin for it.
-        if self._broken or self._finished or self._stream.closed():
+    def _data_received(self, data: bytes) -> None:
+        # A closed stream still returns what it has buffered: its client has disconnected, and no request may start.
+        if self._input_ended or self._output_ended or self._stream.closed():
             return
         values = self._parser.feed(data)
         for value in values:
-            self._command(value)
-            if self._broken:
-                return  # what comes behind is not looked at: hundreds at once must cost no more than a few
-        if self._parser.idle:
-            self.spoke, self.begun_at = True, math.inf
-        elif values or self.begun_at == math.inf:
-            self.begun_at = self._loop.time()
+            self._handle_command(value)
+            if self._input_ended:
+                return  # the rest is ignored: hundreds of malformed commands must cost no more than a few
+        if self._parser.is_idle:
+            self.has_sent_command, self.command_started_s = True, math.inf
+        elif values or self.command_started_s == math.inf:
+            self.command_started_s = self._loop.time()
         if fault := self._parser.fault:
             log.info("client broke the protocol: %s", fault)
-            self._slots.append(_Slot(error(f"ERR protocol: {fault}")))
-            self._broken = self._ending = True
+            self._slots.append(_ResponseSlot(error(f"ERR protocol: {fault}")))
+            self._input_ended = self._closing = True
 
-    def _command(self, value: Value) -> None:
-        slot = _Slot()
+    def _handle_command(self, value: Value) -> None:
+        slot = _ResponseSlot()
         self._slots.append(slot)
         if not isinstance(value, list) or not value or not isinstance(value[0], bytes):
-            self._refuse(slot, "expected an array of bulk strings")
+            self._reject_malformed(slot, "expected an array of bulk strings")
             return
         name = value[0].upper()
         if name in COMMANDS:
             try:
                 query = read_request(value)
-                if problem := self._core.problem(query):
+                if problem := self._dispatcher.problem(query):
                     raise ValueError(problem)
             except (ValueError, OverflowError) as fault:
-                self._refuse(slot, f"syntax: {fault}")
+                self._reject_malformed(slot, f"syntax: {fault}")
                 return
-            if self._refusing:  # read, it is owed an answer: dropped, it would be lost with the connection
-                slot.reply = encode(Rejected(1.0))
+            if self._rejecting:
+                # It has been read, so it gets a response: dropped, it would be lost with the connection.
+                slot.reply = encode_response(Rejected(1.0))
                 return
-            slot.left = self._core.submit(query, lambda answer: self.post(self._answered, slot, answer))
+            slot.notify_disconnected = self._dispatcher.submit(
+                query, lambda answer: self.post(self._response_ready, slot, answer)
+            )
         elif name == b"PING":
-            slot.reply = PONG if self._ready() else error("ERR not ready")
+            slot.reply = PONG if self._is_ready() else error("ERR not ready")
         elif name in (b"CLIENT", b"SELECT"):
             slot.reply = OK
         else:
-            self._refuse(slot, "unknown command")
+            self._reject_malformed(slot, "unknown command")
 
-    def _refuse(self, slot: _Slot, words: str) -> None:
-        """A command that cannot be taken; a client that sends many of them is not listened to any longer:
-        bad input costs its sender the connection, and whoever sent it is none of the clients that requests
-        are of."""
+    def _reject_malformed(self, slot: _ResponseSlot, words: str) -> None:
+        """Answer a malformed command with an error; after too many of them the connection is closed."""
         slot.reply = error(f"ERR {words}")
-        self._faults += 1
-        if self._faults >= MOST_FAULTS:
-            self._broken = self._ending = True
+        self._malformed_count += 1
+        if self._malformed_count >= MAX_MALFORMED_COMMANDS:
+            self._input_ended = self._closing = True
 
-    def _answered(self, slot: _Slot, answer: Response) -> None:
+    def _response_ready(self, slot: _ResponseSlot, answer: Response) -> None:
         if isinstance(answer, Streaming):
-            slot.reply, slot.relay = encode(answer), answer.relay
-            answer.relay.on_piece = lambda: self.post(self._moved)
+            slot.reply, slot.response_stream = encode_response(answer), answer.relay
+            answer.relay.on_piece = lambda: self.post(self._wake_up)
         else:
-            slot.reply, slot.left = encode(answer), None
+            slot.reply, slot.notify_disconnected = encode_response(answer), None
 
-    def _moved(self) -> None:
-        """A relay has more, there is room for more, or the end may have come: the end of this turn looks."""
+    def _wake_up(self) -> None:
+        """Do nothing but cause a turn: turn_ended() then writes what can be written, and may close."""
 
     def turn_ended(self) -> None:
-        """Write the answers that are at the head of the order, in one piece."""
+        """Write all responses that are ready at the head of the queue, in one write."""
         slots = self._slots
         out: list[bytes | None] = []
-        unsent = self._unsent
+        unsent = self._unsent_bytes
         while slots and (reply := slots[0].reply) is not None:
-            if unsent and unsent + len(reply) > MOST_UNSENT:
-                break  # the rest when these have gone out
-            if (relay := slots[0].relay) is not None and not self._pass_on(slots[0], relay, out):
+            if unsent and unsent + len(reply) > MAX_UNSENT_BYTES:
+                break  # the rest once these are sent
+            if (relay := slots[0].response_stream) is not None and not self._write_stream(
+                slots[0], relay, out
+            ):
                 break
             unsent += len(reply)
             out.append(slots.popleft().reply)
         if self._stream.closed():
             return
         if out:
-            self._told_at = self._loop.time()
+            self._last_write_s = self._loop.time()
             data = b"".join(part for part in out if part)
-            self._unsent += len(data)
+            self._unsent_bytes += len(data)
             try:
-                self._stream.write(data).add_done_callback(lambda done: self._fetched(done, len(data)))
+                self._stream.write(data).add_done_callback(lambda done: self._write_finished(done, len(data)))
             except StreamClosedError:
                 return
-        self.idle_since = self._loop.time()
+        self.idle_since_s = self._loop.time()
         if not self._stream.writing():
-            self.unread_since = math.inf
-        elif self.unread_since == math.inf or out:
-            self.unread_since = self.idle_since
-        if len(slots) < MOST_WAITING:
-            self._room.set()
-        if (self._ending or (self._leaving and self.spoke)) and not slots:
-            self._ending = True
-            self._finish()
-
-    def _fetched(self, done: asyncio.Future[None], size: int) -> None:
-        """What had been written is out; retrieves the exception of a write that its end cut short."""
-        self._unsent -= size
+            self.unfetched_since_s = math.inf
+        elif self.unfetched_since_s == math.inf or out:
+            self.unfetched_since_s = self.idle_since_s
+        if len(slots) < MAX_PIPELINED_REQUESTS:
+            self._may_read.set()
+        if (self._closing or (self._draining and self.has_sent_command)) and not slots:
+            self._closing = True
+            self._close_gracefully()
+
+    def _write_finished(self, done: asyncio.Future[None], size: int) -> None:
+        """Account for a finished write; also retrieves the exception of a write cut short by a close."""
+        self._unsent_bytes -= size
         if not done.cancelled() and done.exception() is None:
-            self.unread_since = self._loop.time() if self._unsent else math.inf
-            if self._ending or (self._slots and self._slots[0].reply is not None):
-                self.deliver(self._moved)
-
-    def _pass_on(self, slot: _Slot, relay: ResponseStream, out: list[bytes | None]) -> bool:
-        """Add the next piece of a long value to what is written, one piece at a time so that a slow client
-        holds back the server and not this gateway's memory; True once it is whole."""
-        if relay.broken:  # what lies behind it in the order cannot be told from the rest of it
-            self._broken = self._ending = True
+            self.unfetched_since_s = self._loop.time() if self._unsent_bytes else math.inf
+            if self._closing or (self._slots and self._slots[0].reply is not None):
+                self.deliver(self._wake_up)
+
+    def _write_stream(self, slot: _ResponseSlot, relay: ResponseStream, out: list[bytes | None]) -> bool:
+        """Add the next chunk of a streamed value to the output; True once the value is complete.
+
+        One chunk at a time, so that a slow client puts backpressure on the upstream instead of filling memory.
+        """
+        if relay.broken:  # the client could not tell later responses from the rest of the value
+            self._input_ended = self._closing = True
             self._loop.call_soon(self._stream.close)
             return False
         if self._stream.writing():
@@ -378,66 +396,69 @@
         if slot.reply:
             out.append(slot.reply)
             slot.reply = b""
-        if piece := relay.take(PIECE):
+        if piece := relay.take(STREAM_CHUNK_BYTES):
             out.append(piece)
         if relay.held or not relay.whole:
             return False
         out.append(b"\r\n")
-        slot.left = None
+        slot.notify_disconnected = None
         relay.drained()
         return True
 
-    def _finish(self) -> None:
-        """Close, but only our side at first: closed whole with bytes unread, the connection would be reset,
-        and the reset could overtake the last answer."""
+    def _close_gracefully(self) -> None:
+        """Close the sending side first.
+
+        A full close with unread bytes would reset the connection, and the reset could overtake the last response.
+        """
         if self._stream.closed() or self._stream.writing():
-            return  # once that is out, its turn comes here again
-        if not self._broken and (
-            self._in_hand or (not self._late and (not self._parser.idle or _unread(self._stream)))
+            return  # called again once that is sent
+        if not self._input_ended and (
+            self._has_unhandled_data
+            or (not self._grace_expired and (not self._parser.is_idle or _has_unread_data(self._stream)))
         ):
-            return  # sent before our end: it is read and answered, and that turn comes here again
-        if not self._finished:
-            self._finished = True
-            if self._loop.time() - self._told_at >= LINGER_S:  # its last answer is long there
-                self._stream.close()  # what crosses this is not read, so the client sends it again
+            return  # sent before our close: it is read and answered, and that turn calls this again
+        if not self._output_ended:
+            self._output_ended = True
+            if self._loop.time() - self._last_write_s >= LINGER_S:  # the client has its last response
+                self._stream.close()  # requests that cross the close are not read, so the client retries them
                 return
             with contextlib.suppress(OSError):
                 self._stream.socket.shutdown(socket.SHUT_WR)
             self._loop.call_later(LINGER_S, self._stream.close)
 
-    def end(self) -> None:
-        """Close between requests, once everything taken has its answer."""
-        self.post(self._end)
+    def drain(self) -> None:
+        """Close between requests, once every accepted request is answered."""
+        self.post(self._drain)
 
-    def end_late(self) -> None:
-        """Close as soon as what is open has its answer, and refuse what comes until then."""
-        self.post(self._end_late)
+    def drain_now(self) -> None:
+        """Close as soon as the requests in flight are answered, and reject new ones until then."""
+        self.post(self._drain_now)
 
-    def _turn_away(self) -> None:
-        self._refusing = True
-        self._end()
+    def _reject(self) -> None:
+        self._rejecting = True
+        self._drain()
 
-    def _end(self) -> None:
-        if not self._leaving:
-            self._leaving = True
-            self._loop.call_later(END_TAKES_S, self.deliver, self._end_late)
-            if not self.spoke:
-                wait_s = max(self.opened_at + END_FIRST_S - self._loop.time(), 0.0)
-                self._loop.call_later(wait_s, self.deliver, self._silent)
+    def _drain(self) -> None:
+        if not self._draining:
+            self._draining = True
+            self._loop.call_later(DRAIN_GRACE_S, self.deliver, self._drain_now)
+            if not self.has_sent_command:
+                wait_s = max(self.opened_at_s + FIRST_REQUEST_GRACE_S - self._loop.time(), 0.0)
+                self._loop.call_later(wait_s, self.deliver, self._first_request_expired)
 
-    def _end_late(self) -> None:
-        """It has had its time: it ends as soon as nothing is open."""
-        self._refusing = self._late = self._ending = True
+    def _drain_now(self) -> None:
+        """Close as soon as nothing is in flight: the grace period is over."""
+        self._rejecting = self._grace_expired = self._closing = True
 
-    def _silent(self) -> None:
-        """It had its time to ask."""
-        self._ending = True
+    def _first_request_expired(self) -> None:
+        """Close: no first request came within its grace period."""
+        self._closing = True
 
-    def _gone(self) -> None:
-        """The client has left: nothing more is owed."""
+    def _disconnected(self) -> None:
+        """The connection has closed: cancel its requests in flight."""
         slots, self._slots = self._slots, deque()
-        self._room.set()
+        self._may_read.set()
         for slot in slots:
-            if slot.left is not None:
-                slot.left()
-        self._closed(self)
+            if slot.notify_disconnected is not None:
+                slot.notify_disconnected()
+        self._on_closed(self)
--- a/badgeryoke/gateway/resp/codec.py
+++ b/badgeryoke/gateway/resp/codec.py
@@ -1,17 +1,17 @@
-"""RESP2, read piece by piece and written whole."""
+"""RESP2 codec: an incremental parser, and encoders for complete values."""
 
 from __future__ import annotations
 
 import re
 from collections.abc import Iterable
 
-MAX_NUMBER = 20  # digits of a number, with its sign
-MAX_BULK = 64 * 1024  # of a value that is held whole; ...
-MAX_LONG = 4 * 1024 * 1024  # ... a longer one, up to this, is given on in pieces where that is asked for
+MAX_NUMBER_DIGITS = 20  # including the sign
+MAX_BULK_BYTES = 64 * 1024  # of a bulk string that is buffered completely
+MAX_STREAMED_BYTES = 4 * 1024 * 1024  # of a longer one, which is streamed where the owner asks for it
 
 
 class _ProtocolError(Exception):
-    """Ends the reading; it does not leave the parser."""
+    """Stops parsing; never raised to the parser's caller."""
 
 
 class Status(bytes):
@@ -22,79 +22,79 @@
     """An error line, such as -BUSY 20, without its sign."""
 
 
-class Passed(bytes):
-    """Stands, empty, where a long value stood that was given on in pieces."""
+class StreamedValue(bytes):
+    """Empty placeholder for a long value that was streamed."""
 
 
 Value = bytes | int | None | list["Value"]
 
 
 class RespParser:
-    """Takes bytes as they come and gives the values that are whole.
+    """Incremental parser: takes bytes as they arrive and returns the values that are complete.
 
-    Each byte is looked at once, however small the pieces: what is read of an unfinished array is kept.
-    Where the bytes are not RESP2, or pass a bound, fault says so; what was whole before it still counts, and
-    nothing after it is read.
+    Each byte is scanned once, however small the pieces: items of an incomplete array are kept.  Where the
+    input is not RESP2, or exceeds a bound, `fault` says so; values that were complete before it are still
+    returned, and nothing after it is parsed.
     """
 
     def __init__(
         self,
-        max_bulk: int = MAX_BULK,
+        max_bulk: int = MAX_BULK_BYTES,
         max_items: int = 16,
         max_depth: int = 2,
         max_line: int = 1024,
-        max_total: int = 2 * MAX_BULK,
+        max_total: int = 2 * MAX_BULK_BYTES,
         max_long: int = 0,
     ) -> None:
         self._max_bulk, self._max_items = max_bulk, max_items
         self._max_depth, self._max_line, self._max_total = max_depth, max_line, max_total
         self._buffer = bytearray()
-        self._bulk: int | None = None  # length of the bulk string that is being read
-        self._open: list[tuple[int, list[Value]]] = []  # arrays begun, and how many items each will have
-        self._total = 0  # bytes of bulk strings in the array that is being read
-        self._scanned = 0  # bytes of the buffer known to hold no line end
+        self._bulk_length: int | None = None  # length of the bulk string being parsed
+        self._open_arrays: list[tuple[int, list[Value]]] = []  # incomplete arrays, each with its item count
+        self._array_bytes = 0  # bytes of bulk strings in the array being parsed
+        self._scanned = 0  # bytes of the buffer known to contain no line end
         self.fault = ""
-        # A long value: the first of an outermost array, longer than max_bulk and up to max_long.
-        self._max_long = max_long
-        self._left: int | None = None  # bytes of it that are still to come
-        self.long = 0  # its length, once its head has come, until forget_long()
-        self.long_whole = False  # its own line end has come
-        self.pieces: list[bytes] = []  # what has come of it; for the owner to take
+        # Streamed value: the first item of an outermost array, longer than max_bulk and up to max_long.
+        self._max_streamed_bytes = max_long
+        self._stream_remaining: int | None = None  # bytes of it not yet received
+        self.stream_length = 0  # its length, from its header until reset_stream()
+        self.stream_complete = False  # its line end has been received
+        self.stream_pieces: list[bytes] = []  # received pieces of it, for the owner to take
 
     @property
-    def idle(self) -> bool:
-        """Whether nothing has been begun."""
-        return not self._buffer and not self._open and self._bulk is None
+    def is_idle(self) -> bool:
+        """Whether no value is partly parsed."""
+        return not self._buffer and not self._open_arrays and self._bulk_length is None
 
     @property
-    def held(self) -> int:
-        """Bytes held of what has been begun."""
-        return len(self._buffer) + (self._total if self._open else 0)
+    def buffered_bytes(self) -> int:
+        """Bytes buffered of incomplete values."""
+        return len(self._buffer) + (self._array_bytes if self._open_arrays else 0)
 
-    def forget_long(self) -> None:
-        """What was said of a long value has been taken note of."""
-        self.long, self.long_whole = 0, False
+    def reset_stream(self) -> None:
+        """Clear the state of a streamed value once its owner has handled it."""
+        self.stream_length, self.stream_complete = 0, False
 
     def feed(self, data: bytes) -> list[Value]:
-        """The values that data completes."""
+        """Parse data and return the values that it completes."""
         whole: list[Value] = []
         if not self.fault:
             try:
-                if not self._buffer and not self._open and self._bulk is None:
-                    data = data[self._commands(data, whole) :]
+                if not self._buffer and not self._open_arrays and self._bulk_length is None:
+                    data = data[self._read_complete_commands(data, whole) :]
                     if not data:
                         return whole
                 self._read(data, whole)
             except _ProtocolError as fault:
                 self.fault = str(fault)
                 self._buffer.clear()
-                self._open.clear()
+                self._open_arrays.clear()
         return whole
 
-    def _commands(self, data: bytes, whole: list[Value]) -> int:
-        """The usual case in few steps: arrays of bulk strings that came whole.  Gives how much was taken.
+    def _read_complete_commands(self, data: bytes, whole: list[Value]) -> int:
+        """Fast path for complete arrays of bulk strings; returns the number of bytes consumed.
 
-        What is anything else, or passes a bound, is left for the long way to read or to judge.
+        Anything else, or anything that exceeds a bound, is left to the general parser.
         """
         taken, size, find = 0, len(data), data.find
         while taken < size:
@@ -125,55 +125,55 @@
         at = 0
         while True:
             value: Value
-            if self._left is not None:
-                if piece := bytes(buffer[at : at + self._left]):
-                    self.pieces.append(piece)
-                    self._left -= len(piece)
+            if self._stream_remaining is not None:
+                if piece := bytes(buffer[at : at + self._stream_remaining]):
+                    self.stream_pieces.append(piece)
+                    self._stream_remaining -= len(piece)
                     at += len(piece)
-                if self._left or len(buffer) - at < 2:
+                if self._stream_remaining or len(buffer) - at < 2:
                     break
                 if buffer[at : at + 2] != b"\r\n":
                     raise _ProtocolError("bulk string without its line end")
-                value, self._left, self.long_whole, at = Passed(), None, True, at + 2
-            elif self._bulk is not None:
-                end = at + self._bulk
+                value, self._stream_remaining, self.stream_complete, at = StreamedValue(), None, True, at + 2
+            elif self._bulk_length is not None:
+                end = at + self._bulk_length
                 if len(buffer) < end + 2:
                     break
                 if buffer[end : end + 2] != b"\r\n":
                     raise _ProtocolError("bulk string without its line end")
                 value = bytes(buffer[at:end])
-                self._bulk, at = None, end + 2
+                self._bulk_length, at = None, end + 2
             else:
                 end = buffer.find(b"\r\n", max(at, self._scanned))
                 if end - at > self._max_line or (end < 0 and len(buffer) - at > self._max_line):
                     raise _ProtocolError("line too long")
                 if end < 0:
-                    self._begun(bytes(buffer[at : at + MAX_NUMBER + 2]))
+                    self._check_partial_line(bytes(buffer[at : at + MAX_NUMBER_DIGITS + 2]))
                     self._scanned = max(len(buffer) - 1, at)
                     break
                 kind, line, at = buffer[at : at + 1], bytes(buffer[at + 1 : end]), end + 2
                 self._scanned = at
                 if kind == b"$":
-                    first = len(self._open) == 1 and not self._open[0][1]
-                    most = self._max_long if first and self._max_long else self._max_bulk
-                    length = self._length(line, most)
+                    first = len(self._open_arrays) == 1 and not self._open_arrays[0][1]
+                    most = self._max_streamed_bytes if first and self._max_streamed_bytes else self._max_bulk
+                    length = self._parse_length(line, most)
                     if length > self._max_bulk:
-                        self.long = self._left = length
+                        self.stream_length = self._stream_remaining = length
                         continue
                     if length >= 0:
-                        # Bounded as a sum too: many at the bound would be held until the last has come.
-                        self._total = self._total + length if self._open else length
-                        if self._total > self._max_total:
+                        # The sum is bounded too: many strings at the bound would be buffered until the last one.
+                        self._array_bytes = self._array_bytes + length if self._open_arrays else length
+                        if self._array_bytes > self._max_total:
                             raise _ProtocolError("too large as a whole")
-                        self._bulk = length
+                        self._bulk_length = length
                         continue
                     value = None
                 elif kind == b"*":
-                    count = self._length(line, self._max_items)
+                    count = self._parse_length(line, self._max_items)
                     if count > 0:
-                        if len(self._open) >= self._max_depth:
+                        if len(self._open_arrays) >= self._max_depth:
                             raise _ProtocolError("arrays too deep")
-                        self._open.append((count, []))
+                        self._open_arrays.append((count, []))
                         continue
                     value = [] if count == 0 else None
                 elif kind == b"+":
@@ -181,85 +181,87 @@
                 elif kind == b"-":
                     value = ErrorReply(line)
                 elif kind == b":":
-                    value = self._integer(line)
+                    value = self._parse_integer(line)
                 else:
                     raise _ProtocolError("unknown type byte")
-            while self._open:
-                count, items = self._open[-1]
+            while self._open_arrays:
+                count, items = self._open_arrays[-1]
                 items.append(value)
                 if len(items) < count:
                     break
-                self._open.pop()
+                self._open_arrays.pop()
                 value = items
             else:
                 whole.append(value)
-                self._total = 0
+                self._array_bytes = 0
         del buffer[:at]
         self._scanned = max(self._scanned - at, 0)
 
     @staticmethod
-    def _begun(line: bytes) -> None:
-        """Judge a line by what has come of it: noise must not have to end before it is told."""
+    def _check_partial_line(line: bytes) -> None:
+        """Check an incomplete line: malformed input is detected before its line end arrives."""
         kind, rest = line[:1], line[1:].rstrip(b"\r")
         if kind and kind not in b"+-:$*":
             raise _ProtocolError("unknown type byte")
         if (
             kind
             and kind in b":$*"
-            and (len(rest) > MAX_NUMBER or rest.strip(b"0123456789") not in (b"", b"-", b"+"))
+            and (len(rest) > MAX_NUMBER_DIGITS or rest.strip(b"0123456789") not in (b"", b"-", b"+"))
         ):
             raise _ProtocolError("number expected")
 
     @staticmethod
-    def _integer(line: bytes) -> int:
+    def _parse_integer(line: bytes) -> int:
         digits = line[1:] if line[:1] in (b"-", b"+") else line
         if not digits.isdigit() or len(digits) > 19:
             raise _ProtocolError("number expected")
         return int(line)
 
-    def _length(self, line: bytes, most: int) -> int:
-        length = self._integer(line)
+    def _parse_length(self, line: bytes, most: int) -> int:
+        length = self._parse_integer(line)
         if length < -1 or length > most:
             raise _ProtocolError("length out of bounds")
         return length
 
 
 def command(words: Iterable[bytes]) -> bytes:
-    """A command: an array of bulk strings."""
+    """Encode a command: an array of bulk strings."""
     parts = [b"$%d\r\n%b\r\n" % (len(word), word) for word in words]
     return b"*%d\r\n%b" % (len(parts), b"".join(parts))
 
 
 def bulk(value: bytes) -> bytes:
-    """One bulk string."""
+    """Encode a bulk string."""
     return b"$%d\r\n%b\r\n" % (len(value), value)
 
 
 def error(words: str) -> bytes:
-    """An error line; line ends inside are not let out."""
+    """Encode an error line; line ends in the text become spaces."""
     return b"-%b\r\n" % " ".join(words.split()).encode("ascii", "replace")
 
 
-NUMBER = re.compile(r"\d{1,12}(\.\d{1,12})?")
+NUMBER_PATTERN = re.compile(r"\d{1,12}(\.\d{1,12})?")
 
 
-def number(text: str, most: float) -> float:
-    """A plain decimal number from 0 to most; raises ValueError.  float() would take nan, inf, signs, blanks
-    and underscores besides."""
-    if not NUMBER.fullmatch(text) or float(text) > most:
+def parse_number(text: str, most: float) -> float:
+    """Parse a plain decimal number from 0 to most; raises ValueError.
+
+    float() would also accept nan, inf, signs, blanks and underscores.
+    """
+    if not NUMBER_PATTERN.fullmatch(text) or float(text) > most:
         raise ValueError(f"expected a number up to {most:g}")
     return float(text)
 
 
-def whole_number(text: str, most: int) -> int:
-    """A whole number from 0 to most, in digits alone; raises ValueError."""
+def parse_integer(text: str, most: int) -> int:
+    """Parse an integer from 0 to most, digits only; raises ValueError."""
     if not text.isascii() or not text.isdigit() or len(text) > 12 or int(text) > most:
         raise ValueError(f"expected a whole number up to {most}")
     return int(text)
 
 
-def pairs(text: bytes) -> dict[str, str]:
-    """A list of names and values, name=value set apart by commas, each name once; raises ValueError."""
+def parse_pairs(text: bytes) -> dict[str, str]:
+    """Parse comma-separated name=value pairs, each name once; raises ValueError."""
     found: dict[str, str] = {}
     for part in text.decode("ascii").split(","):
         name, equals, value = part.partition("=")
--- a/badgeryoke/gateway/resp/upstream_connection.py
+++ b/badgeryoke/gateway/resp/upstream_connection.py
@@ -21,14 +21,14 @@
 from badgeryoke.gateway.actor import READ_CHUNK, Actor, ActorScheduler, dial, on_close
 from badgeryoke.gateway.attempt import Attempt, Request
 from badgeryoke.gateway.resp.codec import (
-    MAX_LONG,
+    MAX_STREAMED_BYTES,
     ErrorReply,
-    Passed,
     RespParser,
+    StreamedValue,
     Value,
     command,
-    number,
-    pairs,
+    parse_number,
+    parse_pairs,
 )
 from badgeryoke.gateway.response_stream import WINDOW, BufferBudget, ResponseStream
 
@@ -76,10 +76,10 @@
 
 def parse_load_report(text: bytes, names: tuple[str, ...]) -> tuple[float, ...]:
     """Return the load report in the order of the configured names; empty where one is missing."""
-    given = pairs(text[:MAX_LOAD_REPORT_BYTES])
+    given = parse_pairs(text[:MAX_LOAD_REPORT_BYTES])
     if not all(name in given for name in names):
         return ()
-    return tuple(number(given[name], MAX_LOAD_FIGURE) for name in names)
+    return tuple(parse_number(given[name], MAX_LOAD_FIGURE) for name in names)
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,7 +105,11 @@
             if error_text.startswith("ERR failed")
             else ResponseOutcome(f"error {error_text[:80]!r}", False)
         )
-    if not isinstance(reply, list) or not 1 <= len(reply) <= 3 or type(reply[0]) not in (bytes, Passed):
+    if (
+        not isinstance(reply, list)
+        or not 1 <= len(reply) <= 3
+        or type(reply[0]) not in (bytes, StreamedValue)
+    ):
         attempt.error("malformed answer")
         return ResponseOutcome("answer is not an array that begins with a value", False)
     value = reply[0] if type(reply[0]) is bytes else b""  # a streamed one has been forwarded already
@@ -117,7 +121,7 @@
     fault = ""
     try:
         if isinstance(use, bytes):
-            cost = number(pairs(use[:MAX_LOAD_REPORT_BYTES]).get("cost", "0"), max_units)
+            cost = parse_number(parse_pairs(use[:MAX_LOAD_REPORT_BYTES]).get("cost", "0"), max_units)
     except ValueError:
         fault = "figures on use unreadable"
     try:
@@ -146,7 +150,7 @@
         # Backpressure: nothing is read while the response stream is full; this event ends the wait.
         self.stream_has_capacity = asyncio.Event()
         self.backpressured = False
-        self.parser = RespParser(max_items=8, max_long=MAX_LONG)
+        self.parser = RespParser(max_items=8, max_long=MAX_STREAMED_BYTES)
         self.stream, connecting = (dial if upstream.lease is None else upstream.lease.dial)(
             address, MAX_READ_BUFFER_BYTES
         )
@@ -408,16 +412,16 @@
             return
         values = parser.feed(data)
         connection.last_received_ms = self._clock()
-        if parser.long:
+        if parser.stream_length:
             self._forward_stream(connection, attempt)
         if values:
             connection.attempt = attempt.on_abandon = connection.response_stream = None
             connection.response_started, connection.last_response_s = False, self._loop.time()
-            parser.forget_long()
+            parser.reset_stream()
             outcome = complete_attempt(attempt, values[0], self._report_names, self._max_units)
             if outcome.fault:
                 self._log_fault_once(outcome.fault)
-            if len(values) > 1 or not parser.idle or parser.fault:
+            if len(values) > 1 or not parser.is_idle or parser.fault:
                 self._log_fault_once("sent data after its response")
                 connection.stream.close()
             elif outcome.usable:
@@ -439,17 +443,17 @@
     def _forward_stream(self, connection: _PooledConnection, attempt: Attempt) -> None:
         """Forward the received pieces of a long value to the response stream."""
         parser = connection.parser
-        pieces, parser.pieces = parser.pieces, []
+        pieces, parser.stream_pieces = parser.stream_pieces, []
         if connection.response_stream is None:
             if not attempt.query.streams:
                 parser.fault = parser.fault or "length out of bounds"  # this client protocol cannot stream
                 return
-            stream = connection.response_stream = ResponseStream(parser.long, self._buffer_budget)
+            stream = connection.response_stream = ResponseStream(parser.stream_length, self._buffer_budget)
             stream.on_room = connection.stream_has_capacity.set
             attempt.begins(stream)
         for piece in pieces:
             connection.response_stream.put(piece)
-        if parser.long_whole:
+        if parser.stream_complete:
             connection.response_stream.end()
 
     def _check_response_silence(self, connection: _PooledConnection, attempt: Attempt) -> None:
--- a/tests/gateway/resp/test_client_connection.py
+++ b/tests/gateway/resp/test_client_connection.py
@@ -19,7 +19,7 @@
 from badgeryoke.gateway.actor import ActorScheduler, WallClock
 from badgeryoke.gateway.application import GatewayApplication
 from badgeryoke.gateway.attempt import Request
-from badgeryoke.gateway.resp.client_connection import MOST_WAITING, RespClientConnection
+from badgeryoke.gateway.resp.client_connection import MAX_PIPELINED_REQUESTS, RespClientConnection
 from tests.decisions.test_simulator_adapter import PARAMS
 from tests.support.paths import ROOT
 from tests.support.stand_ins import (
@@ -330,12 +330,12 @@
         serving = asyncio.ensure_future(link.serve())
         _, writer = await asyncio.open_connection(sock=theirs)
         # A reading brings two or three.
-        writer.write(query(cls="load-send", key="k", body="x" * 30_000) * 2 * MOST_WAITING)
-        while core.taken < MOST_WAITING:
+        writer.write(query(cls="load-send", key="k", body="x" * 30_000) * 2 * MAX_PIPELINED_REQUESTS)
+        while core.taken < MAX_PIPELINED_REQUESTS:
             await asyncio.sleep(0)
         for _ in range(1000):
             await asyncio.sleep(0)
-        assert core.taken < MOST_WAITING + 4
+        assert core.taken < MAX_PIPELINED_REQUESTS + 4
         writer.transport.abort()
         stream.close()
         await serving
--- a/tests/gateway/resp/test_connection_close.py
+++ b/tests/gateway/resp/test_connection_close.py
@@ -32,8 +32,12 @@
 from badgeryoke.gateway.dispatcher import Response, Served
 from badgeryoke.gateway.graceful_shutdown import ShutdownEvent
 from badgeryoke.gateway.resp import listener as front_module
-from badgeryoke.gateway.resp.client_connection import MOST_WAITING, READ_AT_ONCE, RespClientConnection
-from badgeryoke.gateway.resp.listener import COMMAND_S, UNREAD_S, RespListener
+from badgeryoke.gateway.resp.client_connection import (
+    MAX_PIPELINED_REQUESTS,
+    READ_CHUNK_BYTES,
+    RespClientConnection,
+)
+from badgeryoke.gateway.resp.listener import COMMAND_TIMEOUT_S, UNFETCHED_TIMEOUT_S, RespListener
 from tests.decisions.test_simulator_adapter import PARAMS
 from tests.gateway.resp.test_client_connection import ask, play
 from tests.gateway.test_service import until
@@ -112,10 +116,12 @@
     """More lay unread than one reading takes, and the close behind it."""
 
     async def test() -> None:
-        async with one_gateway(script=[None] * 2 * MOST_WAITING) as (app, _, _):
+        async with one_gateway(script=[None] * 2 * MAX_PIPELINED_REQUESTS) as (app, _, _):
             made = client(app)
-            made.sendall(b"".join(query(f"r{n}") for n in range(MOST_WAITING)))
-            await until(lambda: app._front.links and len(list(app._front.links)[-1]._slots) == MOST_WAITING)
+            made.sendall(b"".join(query(f"r{n}") for n in range(MAX_PIPELINED_REQUESTS)))
+            await until(
+                lambda: app._front.links and len(list(app._front.links)[-1]._slots) == MAX_PIPELINED_REQUESTS
+            )
             made.sendall(query("behind", "load-send", key="k", body="x" * 30_000))
             await until(lambda: list(app._front.links)[-1]._stream._read_buffer_size)
             made.close()
@@ -153,13 +159,13 @@
             lambda _: None,
         )
         serving = asyncio.ensure_future(link.serve())
-        theirs.sendall(b"".join(query(f"r{n}") for n in range(MOST_WAITING)))
-        await until(lambda: core.taken == MOST_WAITING)
-        theirs.sendall(query("behind") + query("full", "load-send", key="k", body="x" * READ_AT_ONCE))
+        theirs.sendall(b"".join(query(f"r{n}") for n in range(MAX_PIPELINED_REQUESTS)))
+        await until(lambda: core.taken == MAX_PIPELINED_REQUESTS)
+        theirs.sendall(query("behind") + query("full", "load-send", key="k", body="x" * READ_CHUNK_BYTES))
         await until(lambda: stream._read_buffer_size)
         stream.close()
         await serving
-        assert core.taken == MOST_WAITING
+        assert core.taken == MAX_PIPELINED_REQUESTS
         theirs.close()
 
     play(test)
@@ -170,14 +176,14 @@
 ) -> None:
     """560 queries of one write had their decisions in one turn, though their client was gone."""
     sizes: list[int] = []
-    taken: Any = RespClientConnection._take
+    taken: Any = RespClientConnection._data_received
 
     def take(link: RespClientConnection, data: bytes) -> None:
         if not link._stream.closed():
             sizes.append(len(data))
         taken(link, data)
 
-    monkeypatch.setattr(RespClientConnection, "_take", take)
+    monkeypatch.setattr(RespClientConnection, "_data_received", take)
 
     async def test() -> None:
         async with one_gateway() as (app, _, _):
@@ -188,7 +194,7 @@
             await until(lambda: not app._front.links)
             assert sizes == [] and app.core.unanswered == 0
             assert await ask(app, resp("PING") * 2000) == ["+PONG"]  # while it asks on
-            assert max(sizes) == READ_AT_ONCE
+            assert max(sizes) == READ_CHUNK_BYTES
 
     play(test)
 
@@ -197,14 +203,14 @@
     """What lies in a socket is read at once, without a round of the event loop: a flood of small writes
     kept it."""
     taken: list[RespClientConnection] = []
-    take: Any = RespClientConnection._take
-    monkeypatch.setattr(front_module, "READ_AT_ONCE", 512)  # as small writes are read
+    take: Any = RespClientConnection._data_received
+    monkeypatch.setattr(front_module, "READ_CHUNK_BYTES", 512)  # as small writes are read
 
     def counted(link: RespClientConnection, data: bytes) -> None:
         taken.append(link)
         take(link, data)
 
-    monkeypatch.setattr(RespClientConnection, "_take", counted)
+    monkeypatch.setattr(RespClientConnection, "_data_received", counted)
 
     async def test() -> None:
         async with one_gateway() as (app, _, _):
@@ -316,10 +322,10 @@
             [link] = front.links
             made.setblocking(False)
             got = 0
-            while link._unsent > 60_100:  # the first is not out
+            while link._unsent_bytes > 60_100:  # the first is not out
                 got += len(await asyncio.get_running_loop().sock_recv(made, 4096))
-            assert link._unsent and link.unread_since < math.inf and got < 120_000
-            link.unread_since -= UNREAD_S
+            assert link._unsent_bytes and link.unfetched_since_s < math.inf and got < 120_000
+            link.unfetched_since_s -= UNFETCHED_TIMEOUT_S
             front.sweep()
             await until(lambda: not front.links)
 
@@ -336,12 +342,12 @@
             for answer in core.given:
                 answer(Served(b"x" * 60_000))
             [link] = front.links
-            await until(lambda: link.unread_since < math.inf)
-            link.begun_at -= COMMAND_S
+            await until(lambda: link.unfetched_since_s < math.inf)
+            link.command_started_s -= COMMAND_TIMEOUT_S
             front.sweep()
             await asyncio.sleep(0)
             assert front.links  # it has its time to fetch
-            link.unread_since -= UNREAD_S
+            link.unfetched_since_s -= UNFETCHED_TIMEOUT_S
             front.sweep()
             await until(lambda: not front.links)
 
@@ -354,14 +360,14 @@
 
     async def test() -> None:
         async with narrow() as (core, front, made):
-            body = "b" * (READ_AT_ONCE // 32)
+            body = "b" * (READ_CHUNK_BYTES // 32)
             made.setblocking(False)
             asked = b"".join(query(f"r{n:03}", body=body) for n in range(80))
             sending = asyncio.ensure_future(asyncio.get_running_loop().sock_sendall(made, asked))
-            await until(lambda: len(core.given) >= MOST_WAITING)
+            await until(lambda: len(core.given) >= MAX_PIPELINED_REQUESTS)
             await asyncio.sleep(0.01)
             [link] = front.links
-            assert link._held_back and not link._parser.idle and link.begun_at == math.inf
+            assert link._backpressured and not link._parser.is_idle and link.command_started_s == math.inf
             front.sweep()
             for answer in core.given:
                 answer(Served(b"value"))
@@ -384,18 +390,18 @@
     async def test() -> None:
         async with one_gateway() as (app, _, _):
             made, link = await linked(app)
-            monkeypatch.setattr(front_module, "IDLE_S", 0.0)
+            monkeypatch.setattr(front_module, "IDLE_TIMEOUT_S", 0.0)
             made.sendall(query("second"))
             read(link)
             match end:
                 case "sweep":
                     app._front.sweep()
                 case "make room":
-                    assert not app._front._make_room(0.0)
+                    assert not app._front._evict_idle_connection(0.0)
                 case "end":
-                    link.end()
+                    link.drain()
                     app._loop.run()
-            monkeypatch.setattr(front_module, "IDLE_S", 20.0)
+            monkeypatch.setattr(front_module, "IDLE_TIMEOUT_S", 20.0)
             made.setblocking(False)
             assert await asyncio.get_running_loop().sock_recv(made, 100) == b"$5\r\nvalue\r\n"
             made.close()
@@ -417,8 +423,8 @@
             link._stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
             made.sendall(query("first"))
             await until(lambda: link._stream.writing())
-            link.end()
-            await until(lambda: link._ending)
+            link.drain()
+            await until(lambda: link._closing)
             made.sendall(query("second"))
             await until(lambda: len(node.commands) == 2)
             made.setblocking(False)
@@ -440,9 +446,9 @@
     async def test() -> None:
         async with one_gateway() as (app, node, _):
             made, link = await linked(app)
-            link.end()
+            link.drain()
             app._loop.run()
-            assert link._finished
+            assert link._output_ended
             made.sendall(query("crossing"))
             assert await answers(made) == b"" and len(node.commands) == 1
 
@@ -454,9 +460,9 @@
         async with one_gateway() as (app, _, _):
             made, link = await linked(app)
             made.sendall(query("slow")[:40])
-            await until(lambda: link.held)
+            await until(lambda: link.buffered_bytes)
             made.sendall(query("slow")[40:])
-            link.drop()
+            link.close_incomplete()
             made.setblocking(False)
             assert await asyncio.get_running_loop().sock_recv(made, 100) == b"$5\r\nvalue\r\n"
             made.close()
@@ -632,7 +638,7 @@
 
 def test_without_a_descriptor_accepting_rests_and_goes_on(monkeypatch: pytest.MonkeyPatch) -> None:
     """The socket stays readable: each round of the event loop tried again and logged a traceback."""
-    monkeypatch.setattr(front_module, "ACCEPT_AGAIN_S", 0.2)
+    monkeypatch.setattr(front_module, "ACCEPT_RETRY_INTERVAL_S", 0.2)
 
     async def test() -> None:
         async with one_gateway() as (app, _, _):
--- a/tests/gateway/resp/test_golden_resp.py
+++ b/tests/gateway/resp/test_golden_resp.py
@@ -174,7 +174,9 @@
 
 
 def test_each_final_answer_has_its_golden_bytes() -> None:
-    assert_golden(ANSWERS, escaped_lines((name, client_connection.encode(answer)) for name, answer in FINAL))
+    assert_golden(
+        ANSWERS, escaped_lines((name, client_connection.encode_response(answer)) for name, answer in FINAL)
+    )
 
 
 def test_each_command_gets_its_golden_bytes() -> None:
--- a/tests/gateway/test_operations.py
+++ b/tests/gateway/test_operations.py
@@ -275,7 +275,7 @@
 def test_a_client_that_never_stops_asking_is_cut_off_behind_an_answer(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(client_link_module, "END_TAKES_S", 0.1)
+    monkeypatch.setattr(client_link_module, "DRAIN_GRACE_S", 0.1)
 
     async def test() -> None:
         async with operated() as (app, _):
@@ -317,7 +317,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Read and dropped where the connection had stayed open for longer than it takes queries."""
-    monkeypatch.setattr(client_link_module, "END_TAKES_S", 0.05)
+    monkeypatch.setattr(client_link_module, "DRAIN_GRACE_S", 0.05)
 
     async def test() -> None:
         async with operated(script=[None], drain_s=0.05) as (app, node):
@@ -326,7 +326,7 @@
             await until(lambda: node.commands)
             [link] = app._front.links
             app.end()
-            await until(lambda: link._ending)
+            await until(lambda: link._closing)
             writer.write(query("behind"))
             await until(lambda: len(link._slots) == 2)
             node.writers[0].write(b"*1\r\n$4\r\nlast\r\n")
@@ -342,7 +342,7 @@
             writer.write(query())
             assert await reader.readexactly(11) == b"$5\r\nvalue\r\n"
             [link] = app._front.links
-            link._told_at -= client_link_module.LINGER_S
+            link._last_write_s -= client_link_module.LINGER_S
             app.end()
             assert await reader.read() == b"" and link._stream.closed()
             writer.close()
--- a/tests/gateway/test_parsers.py
+++ b/tests/gateway/test_parsers.py
@@ -33,10 +33,10 @@
 @pytest.mark.parametrize(("data", "values"), RESP)
 def test_resp_is_read_whole_and_byte_by_byte(data: bytes, values: list[Any]) -> None:
     whole = RespParser()
-    assert whole.feed(data) == values and whole.idle
+    assert whole.feed(data) == values and whole.is_idle
     pieces = RespParser()
     got = [value for n in range(len(data)) for value in pieces.feed(data[n : n + 1])]
-    assert got == values and [type(v) for v in got] == [type(v) for v in values] and pieces.idle
+    assert got == values and [type(v) for v in got] == [type(v) for v in values] and pieces.is_idle
 
 
 @pytest.mark.parametrize(
@@ -86,7 +86,11 @@
     data = command([b"SVC.QUERY", b"", b"\r\n$1"]) + command([b"x" * 100]) + tail
     whole, pieces = RespParser(), RespParser()
     in_pieces = [value for n in range(len(data)) for value in pieces.feed(data[n : n + 1])]
-    assert whole.feed(data) == in_pieces and whole.idle == pieces.idle and whole.held == pieces.held
+    assert (
+        whole.feed(data) == in_pieces
+        and whole.is_idle == pieces.is_idle
+        and whole.buffered_bytes == pieces.buffered_bytes
+    )
     assert whole.feed(b"$1\r\nx\r\n" * 2) == pieces.feed(b"$1\r\nx\r\n" * 2)
 
 
--- a/tests/gateway/test_quota_counter_faults.py
+++ b/tests/gateway/test_quota_counter_faults.py
@@ -224,7 +224,7 @@
             counter.writers[0].write(b"$1\r\n")  # the first piece
             used = calls.link._active
             assert used is not None
-            await until(lambda: not used.parser.idle)
+            await until(lambda: not used.parser.is_idle)
             calls.now += 6.0
             assert (await calls.got.get()).verdict is Verdict.TIMEOUT  # of 7
             counter.answer = lambda total: total + b"\r\n" if total == b"3" else b"$1\r\n%b\r\n" % total
--- a/tests/gateway/test_response_stream.py
+++ b/tests/gateway/test_response_stream.py
@@ -9,7 +9,7 @@
 import pytest
 
 from badgeryoke.gateway.resp import upstream_connection as server_link_module
-from badgeryoke.gateway.resp.codec import MAX_BULK, MAX_LONG, Passed, RespParser
+from badgeryoke.gateway.resp.codec import MAX_BULK_BYTES, MAX_STREAMED_BYTES, RespParser, StreamedValue
 from badgeryoke.gateway.response_stream import WINDOW, WINDOW_LEAST, BufferBudget, ResponseStream
 from tests.gateway.resp.test_client_connection import ask, play
 from tests.gateway.test_service import until
@@ -26,33 +26,36 @@
 
 
 @pytest.mark.parametrize("step", [1000, 4097, 65536, 10**9])
-@pytest.mark.parametrize("size", [MAX_BULK + 1, 300_000])
+@pytest.mark.parametrize("size", [MAX_BULK_BYTES + 1, 300_000])
 def test_a_long_value_comes_in_pieces_however_it_is_cut(size: int, step: int) -> None:
-    parser, sent, got = RespParser(max_items=8, max_long=MAX_LONG), value(size), []
+    parser, sent, got = RespParser(max_items=8, max_long=MAX_STREAMED_BYTES), value(size), []
     data = b"*3\r\n$%d\r\n" % size + sent + TAIL
     values: list[Any] = []
     for at in range(0, len(data), step):
         values += parser.feed(data[at : at + step])
-        got += parser.pieces
-        parser.pieces = []
-        assert parser.held <= step + 128  # no more is kept than has just come
-    assert b"".join(got) == sent and parser.long == size and parser.long_whole
-    assert values == [[b"", b"used=1,cost=2", b"inflight=1,latency_ms=9"]] and type(values[0][0]) is Passed
-    parser.forget_long()
-    assert parser.idle and parser.feed(b"*1\r\n$1\r\nv\r\n") == [[b"v"]]
+        got += parser.stream_pieces
+        parser.stream_pieces = []
+        assert parser.buffered_bytes <= step + 128  # no more is kept than has just come
+    assert b"".join(got) == sent and parser.stream_length == size and parser.stream_complete
+    assert (
+        values == [[b"", b"used=1,cost=2", b"inflight=1,latency_ms=9"]]
+        and type(values[0][0]) is StreamedValue
+    )
+    parser.reset_stream()
+    assert parser.is_idle and parser.feed(b"*1\r\n$1\r\nv\r\n") == [[b"v"]]
 
 
 @pytest.mark.parametrize(
     ("data", "fault"),
     [
-        (b"*3\r\n$%d\r\n" % (MAX_LONG + 1), "length out of bounds"),
+        (b"*3\r\n$%d\r\n" % (MAX_STREAMED_BYTES + 1), "length out of bounds"),
         (b"*3\r\n$1\r\nv\r\n$70000\r\n", "length out of bounds"),  # not the first of the array
         (b"$70000\r\n", "length out of bounds"),  # in no array
         (b"*1\r\n$70000\r\n" + b"x" * 70000 + b"yy", "bulk string without its line end"),
     ],
 )
 def test_what_is_no_long_value_is_a_fault(data: bytes, fault: str) -> None:
-    parser = RespParser(max_items=8, max_long=MAX_LONG)
+    parser = RespParser(max_items=8, max_long=MAX_STREAMED_BYTES)
     parser.feed(data)
     assert parser.fault == fault
 
@@ -88,8 +91,8 @@
 
 def test_a_long_value_goes_through_whole_between_small_ones_and_its_figures_count() -> None:
     async def test() -> None:
-        big = value(MAX_LONG)
-        script = [b"*3\r\n$%d\r\n" % MAX_LONG + big + TAIL, b"*1\r\n$5\r\nsmall\r\n"]
+        big = value(MAX_STREAMED_BYTES)
+        script = [b"*3\r\n$%d\r\n" % MAX_STREAMED_BYTES + big + TAIL, b"*1\r\n$5\r\nsmall\r\n"]
         async with one_gateway(script=script) as (app, node, _):
             assert await ask(app, query("r1"), query("r2")) == [big, b"small"] or {
                 command[2] for command in node.commands
@@ -123,8 +126,12 @@
 
 def test_a_slow_reader_holds_back_its_server_and_nobody_else() -> None:
     async def test() -> None:
-        big = value(MAX_LONG)
-        async with one_gateway(script=[b"*3\r\n$%d\r\n" % MAX_LONG + big + TAIL]) as (app, _, _list):
+        big = value(MAX_STREAMED_BYTES)
+        async with one_gateway(script=[b"*3\r\n$%d\r\n" % MAX_STREAMED_BYTES + big + TAIL]) as (
+            app,
+            _,
+            _list,
+        ):
             with socket.create_connection(app.address[:2]) as slow:
                 slow.sendall(query())
                 await until(lambda: app._room.open)
@@ -138,8 +145,8 @@
                 slow.setblocking(False)
                 got = bytearray()
                 loop = asyncio.get_running_loop()
-                head = b"$%d\r\n" % MAX_LONG
-                while len(got) < len(head) + MAX_LONG + 2:
+                head = b"$%d\r\n" % MAX_STREAMED_BYTES
+                while len(got) < len(head) + MAX_STREAMED_BYTES + 2:
                     got += await loop.sock_recv(slow, 300_000)
                 assert got == head + big + b"\r\n"
             await until(lambda: app.core.unanswered == 0)
--- a/tests/gateway/test_service.py
+++ b/tests/gateway/test_service.py
@@ -23,7 +23,7 @@
 from badgeryoke.gateway.attempt import Attempt, AttemptEnd, Request
 from badgeryoke.gateway.config.platform_file import Config, ConfigError
 from badgeryoke.gateway.resp import listener as front_module
-from badgeryoke.gateway.resp.client_connection import MOST_FAULTS
+from badgeryoke.gateway.resp.client_connection import MAX_MALFORMED_COMMANDS
 from badgeryoke.gateway.resp.upstream_connection import RespUpstream, complete_attempt
 from tests.decisions.test_simulator_adapter import PARAMS
 from tests.gateway.resp.test_client_connection import ask, play
@@ -201,7 +201,7 @@
 def test_an_idle_connection_gives_way_to_a_new_one(monkeypatch: pytest.MonkeyPatch) -> None:
     """Clients that asked once and stayed held every place, and all that came after were turned away."""
     monkeypatch.setattr(gateway_module, "CLIENT_PART", 3 / 1024)
-    monkeypatch.setattr(front_module, "GIVE_WAY_S", 0.0)
+    monkeypatch.setattr(front_module, "MIN_EVICTION_IDLE_S", 0.0)
 
     async def test() -> None:
         async with one_gateway(script=[None]) as (app, node, _):
@@ -235,7 +235,7 @@
                 assert await read_reply(reader) == b"value"
                 now = app._loop.time()
                 for link in app._front.links:
-                    link.idle_since = now - front_module.GIVE_WAY_S  # so much later
+                    link.idle_since_s = now - front_module.MIN_EVICTION_IDLE_S  # so much later
 
     play(test)
 
@@ -245,7 +245,7 @@
 ) -> None:
     """Clients hold a third of the descriptors at most: a crowd that stayed kept all others from coming."""
     monkeypatch.setattr(gateway_module, "CROWD_PART", 4 / 1024)
-    monkeypatch.setattr(front_module, "CROWD_S", 0.0)
+    monkeypatch.setattr(front_module, "MIN_IDLE_WHEN_CROWDED_S", 0.0)
 
     async def test() -> None:
         async with one_gateway() as (app, _, _):
@@ -264,7 +264,7 @@
 def test_a_client_that_says_nothing_or_half_a_command_is_closed(
     sent: bytes, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(front_module, "COMMAND_S", 0.3)
+    monkeypatch.setattr(front_module, "COMMAND_TIMEOUT_S", 0.3)
 
     async def test() -> None:
         async with one_gateway() as (app, _, _):
@@ -278,7 +278,7 @@
 def test_half_a_command_behind_an_open_one_costs_the_open_one_nothing(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(front_module, "COMMAND_S", 0.3)
+    monkeypatch.setattr(front_module, "COMMAND_TIMEOUT_S", 0.3)
 
     async def test() -> None:
         async with one_gateway(script=[None]) as (app, node, _):
@@ -286,7 +286,7 @@
             writer.write(query("whole") + resp("PING")[:6])
             await node.books.arrived.wait()
             [link] = app._front.links
-            await until(lambda: link._ending)
+            await until(lambda: link._closing)
             node.writers[0].write(b"*1\r\n$4\r\nkept\r\n")
             assert await read_reply(reader) == b"kept"
             assert await reader.read() == b""
@@ -297,7 +297,7 @@
 def test_a_connection_whose_end_is_in_the_mailbox_is_not_looked_at(monkeypatch: pytest.MonkeyPatch) -> None:
     """Looking for unread bytes in it raised, and the newcomer's connection was left hanging."""
     monkeypatch.setattr(gateway_module, "CLIENT_PART", 1 / 1024)
-    monkeypatch.setattr(front_module, "GIVE_WAY_S", 0.0)
+    monkeypatch.setattr(front_module, "MIN_EVICTION_IDLE_S", 0.0)
 
     async def test() -> None:
         async with one_gateway() as (app, _, _):
@@ -305,7 +305,7 @@
             await until(lambda: app._front.links)
             [link] = app._front.links
             link.abort()
-            assert not link.idle
+            assert not link.is_idle
             writer.close()
 
     play(test)
@@ -376,7 +376,7 @@
             reader, writer = await connect(app.address)
             writer.write(query(cls="lottery") * 500 + query())
             answers = (await reader.read()).split(b"\r\n")
-            assert len(answers) - 1 == MOST_FAULTS and all(a[:4] == b"-ERR" for a in answers[:-1])
+            assert len(answers) - 1 == MAX_MALFORMED_COMMANDS and all(a[:4] == b"-ERR" for a in answers[:-1])
             assert not node.commands
             writer.close()
 
@@ -425,7 +425,7 @@
 
 
 def test_a_client_that_does_not_fetch_its_answers_is_closed(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(front_module, "UNREAD_S", 0.3)
+    monkeypatch.setattr(front_module, "UNFETCHED_TIMEOUT_S", 0.3)
     value = b"*1\r\n" + resp("v" * 65_000)[4:]
 
     async def test() -> None:
@@ -437,7 +437,7 @@
                 [link] = app._front.links
                 link._stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
                 client.sendall(query())
-                await until(lambda: link.unread_since < math.inf)
+                await until(lambda: link.unfetched_since_s < math.inf)
                 await until(lambda: not app._front.links)
 
     play(test)
