--- a/badgeryoke/cluster/rolling_restart/scheduler.py
+++ b/badgeryoke/cluster/rolling_restart/scheduler.py
@@ -28,7 +28,7 @@
     RestartEvent,
     RestartState,
 )
-from badgeryoke.cluster.state_machine.part import Command, LeaderView
+from badgeryoke.cluster.state_machine_part import Command, LeaderView
 
 PAUSE_AFTER_BLOCKED_MS = 1500.0  # for which conditions may fail to hold before the restart is paused
 # beyond the others' poll interval: they take over capacity before the wave's gateways reject clients
@@ -130,14 +130,14 @@
     """The order of the gateways: as requested, with this leader last so that leadership moves once."""
     request = restart.request
     names = list(request.gateways) or [
-        name for name in sorted(view.halls) if request.zone in ("", view.halls[name])
+        name for name in sorted(view.zones) if request.zone in ("", view.zones[name])
     ]
-    unknown = [name for name in names if name not in view.halls]
+    unknown = [name for name in names if name not in view.zones]
     if unknown or not names:
         named = ", ".join(unknown)[:MAX_TEXT_CHARACTERS] or request.zone
         return _restart_event(restart, RestartEvent.IMPOSSIBLE, f"no such gateway: {named}")
     names.sort(key=lambda name: name == member_name(view.me))
-    return _restart_event(restart, RestartEvent.PLANNED, order=tuple(names), member_count=len(view.halls))
+    return _restart_event(restart, RestartEvent.PLANNED, order=tuple(names), member_count=len(view.zones))
 
 
 def _warmed_up(view: LeaderView, restart: RollingRestart) -> list[Command]:
@@ -151,7 +151,7 @@
 
 def _lost(view: LeaderView, restart: RollingRestart) -> list[Command]:
     """A cancelled restart does not wait for gateways that are dead for good."""
-    dead_ms = {member_name(member): ms for member, ms in view.dead_for.items()}
+    dead_ms = {member_name(member): ms for member, ms in view.dead_for_ms.items()}
     return [
         _gateway_event(restart, name, GatewayEvent.LOST)
         for name, gateway in restart.gateways.items()
@@ -165,7 +165,9 @@
 
     A gateway that ended as planned is not dead, although the old process is seen as dead for a moment when
     the new one is back."""
-    dead = {member_name(member) for member in view.dead_for} - {member_name(member) for member in view.alive}
+    dead = {member_name(member) for member in view.dead_for_ms} - {
+        member_name(member) for member in view.alive
+    }
     for name, gateway in restart.gateways.items():
         if gateway.phase not in IN_PROGRESS_PHASES:
             continue
--- a/badgeryoke/gateway/cluster/closing_sockets.py
+++ b/badgeryoke/gateway/cluster/closing_sockets.py
@@ -10,8 +10,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from badgeryoke.gateway.actor import READ_CHUNK
 from badgeryoke.gateway.cluster.upstream_lease import UpstreamLease
+from badgeryoke.gateway.connecting import READ_CHUNK_BYTES
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,7 +50,7 @@
     def _read_to_end(self, connection: socket.socket) -> None:
         """Discard what still comes."""
         try:
-            if connection.recv(READ_CHUNK):
+            if connection.recv(READ_CHUNK_BYTES):
                 return
         except BlockingIOError:
             return
--- a/badgeryoke/gateway/cluster/rolling_restart_duties.py
+++ b/badgeryoke/gateway/cluster/rolling_restart_duties.py
@@ -50,7 +50,7 @@
         """Have the node and the leases go by what the restart wants; `draining`: the process ends anyway."""
         self._holder.need_multiple = self.agent.need_multiple
         self._holder.draining = draining or self.agent.must_not_lead
-        self._node.lead_nothing = self.agent.must_not_lead
+        self._node.avoid_leadership = self.agent.must_not_lead
 
     def report_state(self) -> None:
         """Tell the agent how this gateway stands."""
@@ -63,7 +63,7 @@
             trimmed=all(pool.open - pool.closing <= pool.need for pool in holder.servers.values()),
             drained=self._gateway.drained,
             empty=not self._gateway.unanswered and holder.empty,
-            copies_complete=node.founding.record is not None
+            copies_complete=node.bootstrap.record is not None
             and all(replica.is_up_to_date for replica in voting_replicas),
         )
 
--- a/badgeryoke/gateway/cluster/server_limits.py
+++ b/badgeryoke/gateway/cluster/server_limits.py
@@ -7,7 +7,7 @@
 from badgeryoke.cluster.connection_limits.commands import RemoveConnectionLimit, SetConnectionLimit
 from badgeryoke.cluster.connection_limits.lease_holder import ConnectionLeaseHolder
 from badgeryoke.cluster.node import ClusterNode
-from badgeryoke.cluster.state_machine.part import FLEET, Command
+from badgeryoke.cluster.state_machine_part import FLEET, Command
 from badgeryoke.gateway.cluster.settings import Servers
 
 REMOVAL_CHECK_INTERVAL_MS = 5000.0
@@ -77,7 +77,7 @@
 
     def _unlisted_servers(self, node: ClusterNode) -> Iterable[tuple[str, int]]:
         """Servers without leases that no list here names, and the index of their group's state."""
-        for group, state in node.states.items():
+        for group, state in node.state_machines.items():
             if group == FLEET or not node.replicas[group].leading:
                 continue
             for server, limited in state.parts["connections"].servers.items():
--- a/badgeryoke/gateway/discovery/http_response.py
+++ b/badgeryoke/gateway/discovery/http_response.py
@@ -4,7 +4,7 @@
 
 import httptools
 
-from badgeryoke.gateway.actor import READ_CHUNK
+from badgeryoke.gateway.connecting import READ_CHUNK_BYTES
 
 STATUS_OK = 200
 FIRST_FINAL_STATUS = 200  # below are informational responses: the final one follows
@@ -36,7 +36,7 @@
         self._bytes_read += len(data)
         # The parser bounds nothing; a piece that was read already may go beyond the bound.
         max_bytes = MAX_RESPONSE_BYTES if self._head_complete else MAX_HEAD_BYTES
-        if self._bytes_read > max_bytes + READ_CHUNK:
+        if self._bytes_read > max_bytes + READ_CHUNK_BYTES:
             raise HttpResponseError("body too large" if self._head_complete else "head too large")
         try:
             self._parser.feed_data(data)
--- a/badgeryoke/gateway/quota_counter/connection.py
+++ b/badgeryoke/gateway/quota_counter/connection.py
@@ -11,8 +11,8 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from badgeryoke.decisions.interface import CounterReply
-from badgeryoke.gateway.actor import dial, on_close, pump
 from badgeryoke.gateway.address import Address
+from badgeryoke.gateway.connecting import dial, on_close, pump
 from badgeryoke.gateway.resp.codec import RespParser
 
 MAX_BUFFERED_BYTES = 256 * 1024
--- a/badgeryoke/gateway/resp/client_connection.py
+++ b/badgeryoke/gateway/resp/client_connection.py
@@ -16,8 +16,8 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from badgeryoke.gateway.actor import Actor, ActorScheduler
-from badgeryoke.gateway.attempt import Request, customer_number
-from badgeryoke.gateway.dispatcher import Dispatcher, Rejected, Response, Served, Streaming
+from badgeryoke.gateway.attempt import Request, parse_customer
+from badgeryoke.gateway.dispatcher import Dispatcher
 from badgeryoke.gateway.resp.codec import (
     MAX_BULK_BYTES,
     RespParser,
@@ -29,6 +29,7 @@
     parse_pairs,
 )
 from badgeryoke.gateway.response_stream import ResponseStream
+from badgeryoke.gateway.responses import Rejected, Response, Served, Streaming
 
 log = logging.getLogger(__name__)
 N = TypeVar("N", int, float)
@@ -68,17 +69,17 @@
     try:
         query = Request(
             id=rid.decode("ascii"),
-            cls=given["c"],
+            request_class=given["c"],
             plan=given["t"],
-            customer=customer_number(customer),
+            customer=parse_customer(customer),
             remaining_ms=_parse_field("d", parse_number, given["d"], MAX_DEADLINE_MS),
             units=_parse_field("units", parse_number, given["units"], MAX_UNITS),
-            spread=_parse_field("spread", parse_integer, given["spread"], MAX_GATEWAYS),
-            first=_parse_field("first", parse_integer, given["first"], MAX_GATEWAYS),
+            gateway_set_size=_parse_field("spread", parse_integer, given["spread"], MAX_GATEWAYS),
+            first_gateway=_parse_field("first", parse_integer, given["first"], MAX_GATEWAYS),
             retry=retry == "1",
-            key=key,
-            safe=safe,
-            streams=True,
+            idempotency_key=key,
+            idempotent=safe,
+            accepts_stream=True,
         )
     except KeyError as missing:
         raise ValueError(f"no {missing.args[0]} in the list") from None
@@ -103,8 +104,8 @@
 def encode_response(response: Response) -> bytes:
     """Encode a final response; of a streamed value only the header."""
     match response:
-        case Streaming(relay=relay):
-            return b"$%d\r\n" % relay.length
+        case Streaming(stream=relay):
+            return b"$%d\r\n" % relay.length_bytes
         case Served(value=value):
             return bulk(value)
         case Rejected(retry_after_ms=wait):
@@ -179,7 +180,7 @@
     @property
     def is_idle(self) -> bool:
         """Whether nothing is in flight, being received or being sent: the connection may be closed."""
-        if self._stream.closed() or self._slots or self._mail or not self._parser.is_idle or self._closing:
+        if self._stream.closed() or self._slots or self._mailbox or not self._parser.is_idle or self._closing:
             return False
         return (
             not self._stream.writing() and not self._has_unhandled_data and not _has_unread_data(self._stream)
@@ -303,7 +304,7 @@
         if name in COMMANDS:
             try:
                 query = read_request(value)
-                if problem := self._dispatcher.problem(query):
+                if problem := self._dispatcher.validate(query):
                     raise ValueError(problem)
             except (ValueError, OverflowError) as fault:
                 self._reject_malformed(slot, f"syntax: {fault}")
@@ -331,15 +332,15 @@
 
     def _response_ready(self, slot: _ResponseSlot, answer: Response) -> None:
         if isinstance(answer, Streaming):
-            slot.reply, slot.response_stream = encode_response(answer), answer.relay
-            answer.relay.on_piece = lambda: self.post(self._wake_up)
+            slot.reply, slot.response_stream = encode_response(answer), answer.stream
+            answer.stream.on_change = lambda: self.post(self._wake_up)
         else:
             slot.reply, slot.notify_disconnected = encode_response(answer), None
 
     def _wake_up(self) -> None:
         """Do nothing but cause a turn: turn_ended() then writes what can be written, and may close."""
 
-    def turn_ended(self) -> None:
+    def batch_ended(self) -> None:
         """Write all responses that are ready at the head of the queue, in one write."""
         slots = self._slots
         out: list[bytes | None] = []
@@ -387,7 +388,7 @@
 
         One chunk at a time, so that a slow client puts backpressure on the upstream instead of filling memory.
         """
-        if relay.broken:  # the client could not tell later responses from the rest of the value
+        if relay.aborted:  # the client could not tell later responses from the rest of the value
             self._input_ended = self._closing = True
             self._loop.call_soon(self._stream.close)
             return False
@@ -396,13 +397,13 @@
         if slot.reply:
             out.append(slot.reply)
             slot.reply = b""
-        if piece := relay.take(STREAM_CHUNK_BYTES):
+        if piece := relay.read(STREAM_CHUNK_BYTES):
             out.append(piece)
-        if relay.held or not relay.whole:
+        if relay.buffered_bytes or not relay.complete:
             return False
         out.append(b"\r\n")
         slot.notify_disconnected = None
-        relay.drained()
+        relay.delivered()
         return True
 
     def _close_gracefully(self) -> None:
--- a/badgeryoke/gateway/resp/upstream_connection.py
+++ b/badgeryoke/gateway/resp/upstream_connection.py
@@ -18,8 +18,9 @@
 
 from tornado.iostream import IOStream, StreamClosedError
 
-from badgeryoke.gateway.actor import READ_CHUNK, Actor, ActorScheduler, dial, on_close
+from badgeryoke.gateway.actor import Actor, ActorScheduler
 from badgeryoke.gateway.attempt import Attempt, Request
+from badgeryoke.gateway.connecting import READ_CHUNK_BYTES, dial, on_close
 from badgeryoke.gateway.resp.codec import (
     MAX_STREAMED_BYTES,
     ErrorReply,
@@ -30,7 +31,7 @@
     parse_number,
     parse_pairs,
 )
-from badgeryoke.gateway.response_stream import WINDOW, BufferBudget, ResponseStream
+from badgeryoke.gateway.response_stream import MAX_WINDOW_BYTES, BufferBudget, ResponseStream
 
 if TYPE_CHECKING:
     from badgeryoke.gateway.cluster.upstream_lease import UpstreamLease
@@ -57,12 +58,14 @@
 
 def encode_request(request: Request, idempotent: bool, remaining_ms: float) -> bytes:
     """Encode a request as a client would write it, with the time that this gateway will wait as its deadline."""
-    fields = [f"c={request.cls}", f"t={request.plan}", f"d={max(math.ceil(remaining_ms), 1)}"]
-    if request.key:
-        fields.append(f"k={request.key}")
+    fields = [f"c={request.request_class}", f"t={request.plan}", f"d={max(math.ceil(remaining_ms), 1)}"]
+    if request.idempotency_key:
+        fields.append(f"k={request.idempotency_key}")
     if request.retry:
         fields.append("r=1")
-    fields.append(f"units={request.units:.7g},spread={request.spread},first={request.first}")
+    fields.append(
+        f"units={request.units:.7g},spread={request.gateway_set_size},first={request.first_gateway}"
+    )
     arguments = [
         b"SVC.QUERY" if idempotent else b"SVC.SUBMIT",
         b"%016x" % request.customer,
@@ -97,9 +100,9 @@
     if isinstance(reply, ErrorReply):
         error_text = reply.decode("ascii", "replace")
         if error_text == "BUSY" or error_text.startswith("BUSY "):
-            attempt.turned_away(error_text)
+            attempt.rejected(error_text)
             return ResponseOutcome()
-        attempt.error(error_text)
+        attempt.failed(error_text)
         return (
             ResponseOutcome()
             if error_text.startswith("ERR failed")
@@ -110,7 +113,7 @@
         or not 1 <= len(reply) <= 3
         or type(reply[0]) not in (bytes, StreamedValue)
     ):
-        attempt.error("malformed answer")
+        attempt.failed("malformed answer")
         return ResponseOutcome("answer is not an array that begins with a value", False)
     value = reply[0] if type(reply[0]) is bytes else b""  # a streamed one has been forwarded already
     use, load = ([*reply[1:], None, None])[:2]
@@ -131,7 +134,7 @@
         fault = "load report unreadable"
     if not isinstance(use, bytes | None) or not isinstance(load, bytes | None):
         fault = "figures on use or load are no strings"
-    attempt.served(value, cost, report)
+    attempt.succeeded(value, cost, report)
     return ResponseOutcome(fault)
 
 
@@ -166,7 +169,7 @@
         self.upstream.post(self.upstream.connection_opened, self)
         with contextlib.suppress(StreamClosedError):
             while True:
-                chunk = READ_CHUNK if self.response_stream is None else STREAM_READ_BYTES
+                chunk = READ_CHUNK_BYTES if self.response_stream is None else STREAM_READ_BYTES
                 data = await self.stream.read_bytes(chunk, partial=True)
                 self.upstream.deliver(self.upstream.data_received, self, data)
                 while (
@@ -201,7 +204,7 @@
         # Where the cluster enforces the server's connection limit, connections are opened and used only under a
         # lease.
         self.lease = lease
-        self._buffer_budget = room or BufferBudget(WINDOW)
+        self._buffer_budget = room or BufferBudget(MAX_WINDOW_BYTES)
         self.address = address
         self._max_units = most_units
         self._clock, self._report_names = clock, report_names
@@ -231,12 +234,12 @@
 
     def _start(self, attempt: Attempt) -> None:
         if self._draining:
-            attempt.lost("server is gone")
+            attempt.connection_lost("server is gone")
             return
         self._pending.append(attempt)
         self._dispatch_pending()
         if attempt in self._pending:
-            attempt.on_abandon = lambda: self.post(self._connection_wait_expired, attempt)
+            attempt.on_abort = lambda: self.post(self._connection_wait_expired, attempt)
             self._loop.call_later(
                 self._connect_ms / 1000.0, self.deliver, self._connection_wait_expired, attempt
             )
@@ -255,8 +258,8 @@
             # its client has disconnected or its deadline has passed: no connection is opened or used for it
             else:
                 self._pending.popleft()
-                attempt.on_abandon = None
-                attempt.moot("too late to be sent")
+                attempt.on_abort = None
+                attempt.not_sent("too late to be sent")
 
     def _take_idle_connection(self) -> _PooledConnection | None:
         """Take the most recently used idle connection that is clean and has rested; None if there is none.
@@ -334,8 +337,8 @@
         """Fail an attempt that got no connection in time."""
         if attempt in self._pending:
             self._pending.remove(attempt)
-            attempt.on_abandon = None
-            attempt.lost("no connection in time")
+            attempt.on_abort = None
+            attempt.connection_lost("no connection in time")
 
     def _connect_timed_out(self, connection: _PooledConnection) -> None:
         if not connection.connected:
@@ -369,10 +372,10 @@
     def _send(self, connection: _PooledConnection, attempt: Attempt, now: float) -> None:
         connection.response_started = False
         connection.attempt = attempt
-        attempt.on_abandon = lambda: self.post(self._attempt_abandoned, connection, attempt)
-        request = attempt.query
-        data = encode_request(request, bool(request.safe), attempt.deadline_ms - now)
-        attempt.begun = True
+        attempt.on_abort = lambda: self.post(self._attempt_abandoned, connection, attempt)
+        request = attempt.request
+        data = encode_request(request, bool(request.idempotent), attempt.deadline_ms - now)
+        attempt.write_started = True
         future = connection.stream.write(data)
         if not future.done():
             future.add_done_callback(lambda done: None if done.exception() else attempt.written())
@@ -415,7 +418,7 @@
         if parser.stream_length:
             self._forward_stream(connection, attempt)
         if values:
-            connection.attempt = attempt.on_abandon = connection.response_stream = None
+            connection.attempt = attempt.on_abort = connection.response_stream = None
             connection.response_started, connection.last_response_s = False, self._loop.time()
             parser.reset_stream()
             outcome = complete_attempt(attempt, values[0], self._report_names, self._max_units)
@@ -445,16 +448,16 @@
         parser = connection.parser
         pieces, parser.stream_pieces = parser.stream_pieces, []
         if connection.response_stream is None:
-            if not attempt.query.streams:
+            if not attempt.request.accepts_stream:
                 parser.fault = parser.fault or "length out of bounds"  # this client protocol cannot stream
                 return
             stream = connection.response_stream = ResponseStream(parser.stream_length, self._buffer_budget)
-            stream.on_room = connection.stream_has_capacity.set
-            attempt.begins(stream)
+            stream.on_capacity = connection.stream_has_capacity.set
+            attempt.response_started(stream)
         for piece in pieces:
-            connection.response_stream.put(piece)
+            connection.response_stream.append(piece)
         if parser.stream_complete:
-            connection.response_stream.end()
+            connection.response_stream.finish()
 
     def _check_response_silence(self, connection: _PooledConnection, attempt: Attempt) -> None:
         """Check whether a response that has started has been silent for too long."""
@@ -496,19 +499,19 @@
     def _fail_malformed(self, connection: _PooledConnection, attempt: Attempt, text: str) -> None:
         """End an attempt whose response cannot be parsed; it may have run.  Closes the connection."""
         self._log_fault_once(text)
-        connection.attempt = attempt.on_abandon = None
-        self._finish_incomplete(connection, attempt, lambda: attempt.error("malformed answer"))
+        connection.attempt = attempt.on_abort = None
+        self._finish_incomplete(connection, attempt, lambda: attempt.failed("malformed answer"))
         connection.stream.close()
 
     @staticmethod
     def _finish_incomplete(connection: _PooledConnection, attempt: Attempt, end: Callable[[], None]) -> None:
         """End an attempt whose response is incomplete; it still succeeds if its streamed value is complete."""
         stream, connection.response_stream = connection.response_stream, None
-        if stream is not None and stream.whole:
-            attempt.served(b"")
+        if stream is not None and stream.complete:
+            attempt.succeeded(b"")
             return
         if stream is not None:
-            stream.fail()
+            stream.abort()
         end()
 
     def _attempt_abandoned(self, connection: _PooledConnection, attempt: Attempt) -> None:
@@ -528,9 +531,9 @@
         attempt, connection.attempt = connection.attempt, None
         connection.stream_has_capacity.set()
         if attempt is not None:
-            attempt.on_abandon = None
+            attempt.on_abort = None
             detail = str(connection.stream.error or "connection ended")
-            self._finish_incomplete(connection, attempt, lambda: attempt.lost(detail))
+            self._finish_incomplete(connection, attempt, lambda: attempt.connection_lost(detail))
         if not connection.connected:
             self._connecting_count -= 1
             # Refused or timed out: pending attempts fail at once, unless another connection is being opened.
@@ -543,8 +546,8 @@
         """Fail pending attempts, except as many as `keep`: idle connections will serve those."""
         while len(self._pending) > keep:
             attempt = self._pending.pop()
-            attempt.on_abandon = None
-            attempt.lost(detail)
+            attempt.on_abort = None
+            attempt.connection_lost(detail)
 
     def _log_fault_once(self, text: str) -> None:
         """Log the first fault of a backend, and no further ones."""
--- a/badgeryoke/testbed/dispatcher_cost.py
+++ b/badgeryoke/testbed/dispatcher_cost.py
@@ -24,7 +24,7 @@
 from badgeryoke.cluster.reservations.contract_lease import ContractLease
 from badgeryoke.cluster.reservations.lease_client import ReservationClient
 from badgeryoke.cluster.reservations.terms import Interval
-from badgeryoke.cluster.state_machine.part import ApplyResult
+from badgeryoke.cluster.state_machine_part import ApplyResult
 from badgeryoke.cluster.timings import Timings
 from badgeryoke.decisions import interface as api
 from badgeryoke.gateway.actor import ActorScheduler
@@ -76,9 +76,9 @@
             lambda: self.loop.now * 1000.0,
             lambda _: self,
             self,
-            reserves=kind != "off",
+            with_reservations=kind != "off",
         )
-        self.core.members(
+        self.core.update_endpoints(
             api.EndpointList(
                 api.ListScope.FULL,
                 tuple(api.Server(number, "a", "std", 0, api.EndpointState.UP) for number in range(1, 9)),
@@ -88,7 +88,7 @@
             floor = ReservationClient("a", "p", Timings())
             if kind != "no contract":
                 self._stake(floor, 5 if kind == "drawn" else 6)
-            self.core.guarantee(floor, lambda: self.loop.now * 1000.0)
+            self.core.enable_reservations(floor, lambda: self.loop.now * 1000.0)
 
     @staticmethod
     def _stake(floor: ReservationClient, customer: int) -> None:
@@ -124,7 +124,7 @@
             self.loop.run()
             for execution in self._out:
                 execution.written()
-                execution.served(b"1")
+                execution.succeeded(b"1")
             self._out.clear()
             self.loop.run()
         took = time.process_time() - begun
--- a/tests/gateway/test_reload.py
+++ b/tests/gateway/test_reload.py
@@ -14,11 +14,14 @@
 from badgeryoke.decisions import interface as api
 from badgeryoke.decisions.plan_schedule.plan_change import replan
 from badgeryoke.gateway.application import GatewayApplication
-from badgeryoke.gateway.config.platform_file import Config, ConfigError, lacking, read_config, shape
+from badgeryoke.gateway.config.errors import ConfigError
+from badgeryoke.gateway.config.file_shape import first_missing_key, shape_of
+from badgeryoke.gateway.config.model import Config
+from badgeryoke.gateway.config.platform_file import read_config
 from tests.decisions.test_simulator_adapter import PARAMS
-from tests.gateway.resp.test_client_connection import ask, play
-from tests.gateway.test_service import until
 from tests.support import samples
+from tests.support.running import ask, until
+from tests.support.running import run_test as play
 from tests.support.stand_ins import (
     HOST,
     KEYED,
@@ -70,7 +73,7 @@
 
 
 @pytest.mark.parametrize("text", ["", "{", json.dumps(RAW)[:-40], "[]", "null"])
-def test_an_empty_or_cut_file_is_turned_down(text: str, tmp_path: Path) -> None:
+def test_an_empty_or_truncated_file_is_rejected(text: str, tmp_path: Path) -> None:
     file = tmp_path / "config.json"
     file.write_text(text)
     with pytest.raises(ConfigError, match="LB_CONFIG"):
@@ -91,10 +94,10 @@
     ],
 )
 def test_a_file_that_lacks_a_key_is_turned_down_by_its_name(path: str) -> None:
-    missing = lacking(shape(RAW), shape(at(RAW, path)))
+    missing = first_missing_key(shape_of(RAW), shape_of(at(RAW, path)))
     assert missing == ".".join(part for part in path.split(".") if not part.isdigit())
-    assert lacking(shape(RAW), shape({**RAW, "more": 1})) is None
-    assert lacking(shape({**RAW, "known": {"version": 1}}), shape(RAW)) is None
+    assert first_missing_key(shape_of(RAW), shape_of({**RAW, "more": 1})) is None
+    assert first_missing_key(shape_of({**RAW, "known": {"version": 1}}), shape_of(RAW)) is None
 
 
 async def reloading(new: Callable[[Config], Config], test: Any, *nodes: Backend) -> None:
@@ -102,7 +105,7 @@
         made = config(list_.port, None, roster(entry("a", node.port)))
         app = GatewayApplication(made, lambda: NOW_MS, lambda: new(made))
         app.start()
-        await until(lambda: app._hosts.ready)
+        await until(lambda: app.parts.discovery.ready)
         try:
             await test(app, node)
         finally:
@@ -110,7 +113,7 @@
             await app.done.wait()
 
 
-def test_classes_come_go_and_change_effect_while_open_queries_keep_theirs() -> None:
+def test_classes_come_go_and_change_idempotency_while_pending_requests_keep_theirs() -> None:
     """`load-send` becomes safe to repeat, `balance-check` goes, `fresh` comes, one attempt is left."""
     classes = (
         replace(KEYED, idempotency=api.Idempotency.IDEMPOTENT, deadline_ms=70_000.0),
@@ -121,7 +124,7 @@
         return replace(made, settings=made_settings(classes=classes, has_counter=False, max_attempts=1))
 
     async def test(app: GatewayApplication, node: Backend) -> None:
-        reader, writer = await connect(app.address)
+        reader, writer = await connect(app.lifecycle.address)
         writer.write(query("open", "load-send", key="k"))
         await until(lambda: len(node.commands) == 1)
         app.reload()
@@ -133,13 +136,16 @@
         assert await reader.readexactly(11) == b"$5\r\nvalue\r\n"
         by_id = [(command[0], command[2]) for command in node.commands]
         assert by_id.count((b"SVC.SUBMIT", b"open")) == 2 and (b"SVC.QUERY", b"changed") in by_id
-        assert app.core.figures.ended["balance-check"] == [0, 0, 0] and app.core.figures.reloads == 1
+        assert (
+            app.parts.dispatcher.metrics.finished["balance-check"] == [0, 0, 0]
+            and app.parts.dispatcher.metrics.reloads == 1
+        )
         writer.close()
 
     play(lambda: reloading(new, test, Backend(script=[None])))
 
 
-def test_attempts_become_fewer_for_new_queries_alone() -> None:
+def test_a_lower_attempt_limit_applies_to_new_requests_only() -> None:
     def new(made: Config) -> Config:
         return replace(made, settings=made_settings(has_counter=False, max_attempts=1))
 
@@ -151,7 +157,7 @@
     play(lambda: reloading(new, test, Backend(script=[b"-BUSY\r\n"])))
 
 
-def test_a_file_turned_down_changes_nothing_and_two_in_a_row_are_taken() -> None:
+def test_a_rejected_file_changes_nothing_and_two_valid_ones_in_a_row_are_applied() -> None:
     files: list[Config | ConfigError] = []
 
     def new(made: Config) -> Config:
@@ -161,22 +167,24 @@
         return file
 
     async def test(app: GatewayApplication, node: Backend) -> None:
-        one = replace(app._config, settings=made_settings(classes=(SAFE,), has_counter=False))
+        one = replace(app.parts.config, settings=made_settings(classes=(SAFE,), has_counter=False))
         grown = made_settings(classes=(SAFE, KEYED), has_counter=False, gateway_count=40)
-        two = replace(app._config, settings=grown)
-        files[:] = [ConfigError("settings: missing"), replace(two, shape={"a": None}), one, two]
-        app._config = replace(app._config, shape={"a": None, "b": None})
+        two = replace(app.parts.config, settings=grown)
+        files[:] = [ConfigError("settings: missing"), replace(two, file_shape={"a": None}), one, two]
+        app.parts.config = replace(app.parts.config, file_shape={"a": None, "b": None})
         app.reload()
         app.reload()  # lacks b
         assert await ask(app, query("kept", "load-send", key="k")) == [b"value"]
-        app._config = replace(app._config, shape=None)
+        app.parts.config = replace(app.parts.config, file_shape=None)
         app.reload()
         app.reload()
         assert await ask(app, query("back", "load-send", key="k2")) == [b"value"]
-        assert (app.core.figures.reloads, app.core.figures.reload_errors) == (2, 2)
+        assert (app.parts.dispatcher.metrics.reloads, app.parts.dispatcher.metrics.reload_errors) == (2, 2)
         app.pause()
         files[:] = [one]
-        assert app._hosts.backoff.longest_pause_s == 2.0  # the fleet has grown, for discovery as well
+        assert (
+            app.parts.discovery.backoff.longest_pause_s == 2.0
+        )  # the fleet has grown, for discovery as well
         app.reload()  # during a drain
         app.resume()
         assert "syntax" in str(await ask(app, query("gone", "load-send", key="k3")))
@@ -207,7 +215,7 @@
     assert led.bucket.capacity(now) == pytest.approx(room)
 
 
-def test_a_call_that_is_out_is_answered_before_the_new_plan_is_taken_up() -> None:
+def test_a_counter_call_in_flight_is_answered_before_the_new_plan_applies() -> None:
     made = samples.gateway()
     now = samples.START
     [count] = samples.only(made.handle(now, samples.request("a")), api.AddToCounter)
--- a/tests/support/cluster_runs.py
+++ b/tests/support/cluster_runs.py
@@ -9,7 +9,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, run_state_machine_as_test
 
 from badgeryoke.cluster.invariants import InvariantViolation, Rule
-from badgeryoke.cluster.state_machine.part import LeaderView
+from badgeryoke.cluster.state_machine_part import LeaderView
 from badgeryoke.cluster.timings import Timings
 
 STEP_MS = 100.0  # by which simulations advance
@@ -22,8 +22,8 @@
     fields: dict[str, Any] = {
         "me": "g0/1",
         "alive": frozenset(),
-        "dead_for": {},
-        "halls": {},
+        "dead_for_ms": {},
+        "zones": {},
         "load": {},
         "groups": {},
         "behind": {},
--- a/tests/support/cluster_service.py
+++ b/tests/support/cluster_service.py
@@ -17,7 +17,7 @@
 from badgeryoke.cluster.node import LeaseClient, NodeSetup
 from badgeryoke.gateway.cluster.service import ClusterService
 from badgeryoke.gateway.cluster.settings import ClusterSettings
-from tests.gateway.test_service import until
+from tests.support.running import until
 from tests.support.stand_ins import HOST
 
 _Event = TypeVar("_Event")
@@ -36,7 +36,7 @@
         invariants: Invariants,
     ) -> None:
         self.setup, self.saved, self.invariants = setup, saved, invariants
-        self.holders: list[LeaseClient] = []
+        self.lease_clients: list[LeaseClient] = []
         self.events: list[NodeEvent] = []
         self.due = math.inf
         self.effects_of: Callable[[Any], list[Effect]] = lambda event: []
