Name locals of the RESP listener and client connection, and their tests, plainly

Cause: locals such as made, worst, held and link, and test names in house wording, remained.

No assertion was touched.

--- a/badgeryoke/gateway/resp/client_connection.py
+++ b/badgeryoke/gateway/resp/client_connection.py
@@ -60,22 +60,22 @@
     """Parse a request from a command's arguments; raises ValueError that says what is wrong."""
     if not 4 <= len(words) <= 5 or not all(type(word) is bytes for word in words):
         raise ValueError("expected CUSTOMER ID LIST and at most a body")
-    name, customer, rid, listed = (bytes(word) for word in words[:4] if isinstance(word, bytes))
+    name, customer, request_id, field_list = (bytes(word) for word in words[:4] if isinstance(word, bytes))
     safe = COMMANDS[name.upper()]
-    if len(listed) > MAX_FIELD_LIST_BYTES:
+    if len(field_list) > MAX_FIELD_LIST_BYTES:
         raise ValueError("list too long")
-    given = parse_pairs(listed)
-    key, retry = given.get("k", ""), given.get("r", "0")
+    fields = parse_pairs(field_list)
+    key, retry = fields.get("k", ""), fields.get("r", "0")
     try:
-        query = Request(
-            id=rid.decode("ascii"),
-            request_class=given["c"],
-            plan=given["t"],
+        request = Request(
+            id=request_id.decode("ascii"),
+            request_class=fields["c"],
+            plan=fields["t"],
             customer=parse_customer(customer),
-            remaining_ms=_parse_field("d", parse_number, given["d"], MAX_DEADLINE_MS),
-            units=_parse_field("units", parse_number, given["units"], MAX_UNITS),
-            gateway_set_size=_parse_field("spread", parse_integer, given["spread"], MAX_GATEWAYS),
-            first_gateway=_parse_field("first", parse_integer, given["first"], MAX_GATEWAYS),
+            remaining_ms=_parse_field("d", parse_number, fields["d"], MAX_DEADLINE_MS),
+            units=_parse_field("units", parse_number, fields["units"], MAX_UNITS),
+            gateway_set_size=_parse_field("spread", parse_integer, fields["spread"], MAX_GATEWAYS),
+            first_gateway=_parse_field("first", parse_integer, fields["first"], MAX_GATEWAYS),
             retry=retry == "1",
             idempotency_key=key,
             idempotent=safe,
@@ -84,14 +84,14 @@
     except KeyError as missing:
         raise ValueError(f"no {missing.args[0]} in the list") from None
     if (
-        not REQUEST_ID_PATTERN.fullmatch(query.id)
+        not REQUEST_ID_PATTERN.fullmatch(request.id)
         or (key and not REQUEST_ID_PATTERN.fullmatch(key))
         or retry not in ("0", "1")
     ):
         raise ValueError("id, k or r malformed")
     if len(words) == 5 and isinstance(words[4], bytes):
-        query.body = words[4]
-    return query
+        request.body = words[4]
+    return request
 
 
 def _parse_field(name: str, read: Callable[[str, N], N], text: str, most: N) -> N:
@@ -104,8 +104,8 @@
 def encode_response(response: Response) -> bytes:
     """Encode a final response; of a streamed value only the header."""
     match response:
-        case Streaming(stream=relay):
-            return b"$%d\r\n" % relay.length_bytes
+        case Streaming(stream=response_stream):
+            return b"$%d\r\n" % response_stream.length_bytes
         case Served(value=value):
             return bulk(value)
         case Rejected(retry_after_ms=wait):
@@ -303,8 +303,8 @@
         name = value[0].upper()
         if name in COMMANDS:
             try:
-                query = read_request(value)
-                if problem := self._dispatcher.validate(query):
+                request = read_request(value)
+                if problem := self._dispatcher.validate(request):
                     raise ValueError(problem)
             except (ValueError, OverflowError) as fault:
                 self._reject_malformed(slot, f"syntax: {fault}")
@@ -314,7 +314,7 @@
                 slot.reply = encode_response(Rejected(1.0))
                 return
             slot.notify_disconnected = self._dispatcher.submit(
-                query, lambda answer: self.post(self._response_ready, slot, answer)
+                request, lambda answer: self.post(self._response_ready, slot, answer)
             )
         elif name == b"PING":
             slot.reply = PONG if self._is_ready() else error("ERR not ready")
@@ -338,7 +338,7 @@
             slot.reply, slot.notify_disconnected = encode_response(answer), None
 
     def _wake_up(self) -> None:
-        """Do nothing but cause a turn: turn_ended() then writes what can be written, and may close."""
+        """Do nothing but cause a turn: batch_ended() then writes what can be written, and may close."""
 
     def batch_ended(self) -> None:
         """Write all responses that are ready at the head of the queue, in one write."""
@@ -348,8 +348,8 @@
         while slots and (reply := slots[0].reply) is not None:
             if unsent and unsent + len(reply) > MAX_UNSENT_BYTES:
                 break  # the rest once these are sent
-            if (relay := slots[0].response_stream) is not None and not self._write_stream(
-                slots[0], relay, out
+            if (response_stream := slots[0].response_stream) is not None and not self._write_stream(
+                slots[0], response_stream, out
             ):
                 break
             unsent += len(reply)
@@ -383,12 +383,14 @@
             if self._closing or (self._slots and self._slots[0].reply is not None):
                 self.deliver(self._wake_up)
 
-    def _write_stream(self, slot: _ResponseSlot, relay: ResponseStream, out: list[bytes | None]) -> bool:
+    def _write_stream(
+        self, slot: _ResponseSlot, response_stream: ResponseStream, out: list[bytes | None]
+    ) -> bool:
         """Add the next chunk of a streamed value to the output; True once the value is complete.
 
         One chunk at a time, so that a slow client puts backpressure on the upstream instead of filling memory.
         """
-        if relay.aborted:  # the client could not tell later responses from the rest of the value
+        if response_stream.aborted:  # the client could not tell later responses from the rest of the value
             self._input_ended = self._closing = True
             self._loop.call_soon(self._stream.close)
             return False
@@ -397,13 +399,13 @@
         if slot.reply:
             out.append(slot.reply)
             slot.reply = b""
-        if piece := relay.read(STREAM_CHUNK_BYTES):
+        if piece := response_stream.read(STREAM_CHUNK_BYTES):
             out.append(piece)
-        if relay.buffered_bytes or not relay.complete:
+        if response_stream.buffered_bytes or not response_stream.complete:
             return False
         out.append(b"\r\n")
         slot.notify_disconnected = None
-        relay.delivered()
+        response_stream.delivered()
         return True
 
     def _close_gracefully(self) -> None:
--- a/badgeryoke/gateway/resp/listener.py
+++ b/badgeryoke/gateway/resp/listener.py
@@ -71,8 +71,8 @@
 
     def stop(self) -> None:
         """Stop accepting, after taking the kernel's backlog: it would be reset with the listening socket."""
-        listening, self._listening_sockets = self._listening_sockets, []
-        for one in listening:
+        listening_sockets, self._listening_sockets = self._listening_sockets, []
+        for one in listening_sockets:
             asyncio.get_running_loop().remove_reader(one)
             self._accept(one, last=True)
             one.close()
@@ -90,7 +90,7 @@
                 asyncio.get_running_loop().remove_reader(one)
             self._loop.call_later(ACCEPT_RETRY_INTERVAL_S, self._resume_accepting)
 
-    def _accept(self, listening: socket.socket, last: bool = False) -> None:
+    def _accept(self, listening_socket: socket.socket, last: bool = False) -> None:
         """Accept waiting connections within the bound, or all of them when the listener stops."""
         for _ in range(2 * BACKLOG if last else MAX_ACCEPTS_PER_TURN):
             if (
@@ -101,7 +101,7 @@
                 self._pause_accepting()
                 return
             try:
-                made, _ = listening.accept()
+                client_socket, _ = listening_socket.accept()
             except BlockingIOError:
                 return
             except ConnectionAbortedError:
@@ -112,86 +112,94 @@
                     continue
                 self._pause_accepting()
                 return
-            self._open_connection(made)
+            self._open_connection(client_socket)
 
-    def _open_connection(self, made: socket.socket) -> None:
-        stream = IOStream(made, max_buffer_size=MAX_READ_BUFFER_BYTES, read_chunk_size=READ_CHUNK_BYTES)
+    def _open_connection(self, client_socket: socket.socket) -> None:
+        stream = IOStream(
+            client_socket, max_buffer_size=MAX_READ_BUFFER_BYTES, read_chunk_size=READ_CHUNK_BYTES
+        )
         stream.set_nodelay(True)
         full = len(self.links) >= self._max_connections and not self._evict_idle_connection(
             MIN_EVICTION_IDLE_S
         )
-        link = RespClientConnection(stream, self._dispatcher, self._loop, self.ready, self._connection_closed)
-        self.links[link] = None  # registered first, so that shutdown waits for it
+        connection = RespClientConnection(
+            stream, self._dispatcher, self._loop, self.ready, self._connection_closed
+        )
+        self.links[connection] = None  # registered first, so that shutdown waits for it
         if full:
             self._log_saturation_once(f"{len(self.links)} connections are open and in use")
-            link.reject()
+            connection.reject()
         elif self._draining:
-            link.drain()
-        self.links[link] = asyncio.ensure_future(link.serve())
+            connection.drain()
+        self.links[connection] = asyncio.ensure_future(connection.serve())
 
     def _log_saturation_once(self, why: str) -> None:
         if not self._saturation_logged:
             self._saturation_logged = True
             log.warning("clients are rejected: %s", why)
 
-    def share(self, part: float) -> None:
+    def share(self, fraction: float) -> None:
         """Use a fraction of the configured bound on connections."""
-        self._max_connections = int(self._configured_max_connections * part)
+        self._max_connections = int(self._configured_max_connections * fraction)
 
     def close_links(self) -> None:
         """Drain: from now on connections close between requests."""
         self._draining = True
-        for link in list(self.links):
-            link.drain()
+        for connection in list(self.links):
+            connection.drain()
 
     def refuse_rest(self) -> None:
         """Reject requests that still arrive: they could not be answered before the process ends."""
-        for link in list(self.links):
-            link.drain_now()
+        for connection in list(self.links):
+            connection.drain_now()
 
     def keep_links(self) -> None:
         """Keep new connections again; those that are draining still close."""
         self._draining = False
 
-    def _evict_idle_connection(self, least_s: float) -> bool:
-        """Close the connection that has been idle longest; False if none has been idle for least_s."""
+    def _evict_idle_connection(self, min_idle_s: float) -> bool:
+        """Close the connection that has been idle longest; False if none has been idle for min_idle_s."""
         now = self._loop.time()
-        worst: tuple[float, RespClientConnection] | None = None
-        for link in self.links:
-            idle_s = now - link.idle_since_s
-            if idle_s < least_s:
+        longest_idle: tuple[float, RespClientConnection] | None = None
+        for connection in self.links:
+            idle_s = now - connection.idle_since_s
+            if idle_s < min_idle_s:
                 continue
-            idle_s += 0.0 if link.has_sent_command else SILENT_IDLE_BONUS_S
-            if (worst is None or idle_s > worst[0]) and link.is_idle:
-                worst = idle_s, link
-        if worst is None:
+            idle_s += 0.0 if connection.has_sent_command else SILENT_IDLE_BONUS_S
+            if (longest_idle is None or idle_s > longest_idle[0]) and connection.is_idle:
+                longest_idle = idle_s, connection
+        if longest_idle is None:
             return False
-        worst[1].abort()  # checked in this turn: it has no unread data
-        self._connection_closed(worst[1])  # no longer counted, though its close event is still in the mailbox
+        longest_idle[1].abort()  # checked in this turn: it has no unread data
+        self._connection_closed(
+            longest_idle[1]
+        )  # no longer counted, though its close event is still in the mailbox
         return True
 
     def sweep(self) -> None:
         """Close connections that are idle, stalled, or in the middle of a command for too long."""
         now = self._loop.time()
-        held = 0
-        for link in list(self.links):
-            held += link.buffered_bytes
-            if now - link.unfetched_since_s >= (
-                STREAM_STALL_TIMEOUT_S if link.is_streaming else UNFETCHED_TIMEOUT_S
+        buffered_bytes = 0
+        for connection in list(self.links):
+            buffered_bytes += connection.buffered_bytes
+            if now - connection.unfetched_since_s >= (
+                STREAM_STALL_TIMEOUT_S if connection.is_streaming else UNFETCHED_TIMEOUT_S
             ):
-                link.abort()
+                connection.abort()
             elif (
-                now - link.idle_since_s >= IDLE_TIMEOUT_S and link.is_idle
-            ) or now - link.command_started_s >= COMMAND_TIMEOUT_S:
-                link.close_incomplete()
-        if held > self._max_buffered_bytes:
-            for link in sorted(self.links, key=lambda link: link.buffered_bytes, reverse=True):
-                held -= link.buffered_bytes
-                if link.unfetched_bytes > link.buffered_bytes // 2:
-                    link.abort()  # mostly unfetched responses: only closing frees them
+                now - connection.idle_since_s >= IDLE_TIMEOUT_S and connection.is_idle
+            ) or now - connection.command_started_s >= COMMAND_TIMEOUT_S:
+                connection.close_incomplete()
+        if buffered_bytes > self._max_buffered_bytes:
+            for connection in sorted(
+                self.links, key=lambda connection: connection.buffered_bytes, reverse=True
+            ):
+                buffered_bytes -= connection.buffered_bytes
+                if connection.unfetched_bytes > connection.buffered_bytes // 2:
+                    connection.abort()  # mostly unfetched responses: only closing frees them
                 else:
-                    link.close_incomplete()
-                if held <= self._max_buffered_bytes:
+                    connection.close_incomplete()
+                if buffered_bytes <= self._max_buffered_bytes:
                     break
         while len(self.links) > self._crowded_count and self._evict_idle_connection(MIN_IDLE_WHEN_CROWDED_S):
             pass
@@ -199,5 +207,5 @@
             self._saturation_logged = False
             log.info("clients are accepted again: %d connections are open", len(self.links))
 
-    def _connection_closed(self, link: RespClientConnection) -> None:
-        self.links.pop(link, None)
+    def _connection_closed(self, connection: RespClientConnection) -> None:
+        self.links.pop(connection, None)
--- a/tests/gateway/resp/test_client_connection.py
+++ b/tests/gateway/resp/test_client_connection.py
@@ -40,7 +40,7 @@
 )
 
 
-def test_a_query_is_passed_on_unchanged_and_its_value_comes_back() -> None:
+def test_a_request_is_forwarded_unchanged_and_its_value_is_returned() -> None:
     async def test() -> None:
         async with Counter() as counter, one_gateway(counter=counter.port) as (app, node, _):
             answers = await ask(app, query("id1", "load-send", 3, key="5c0f6e1a2b3d4c59", body="BODY"))
@@ -73,7 +73,7 @@
 
 
 @pytest.mark.parametrize(("script", "attempts"), FAILURES)
-def test_what_a_backend_answers_becomes_an_outcome(script: list[bytes | None], attempts: int) -> None:
+def test_each_backend_reply_maps_to_an_attempt_outcome(script: list[bytes | None], attempts: int) -> None:
     async def test() -> None:
         async with one_gateway(script=script) as (app, node, _):
             assert await ask(app, query()) == [b"value"]
@@ -82,7 +82,7 @@
     play(test)
 
 
-def test_an_unkeyed_unsafe_attempt_that_may_have_run_is_not_sent_again() -> None:
+def test_a_non_idempotent_attempt_that_may_have_run_is_not_retried() -> None:
     unsafe = api.RequestClass("load-send", 30_000.0, 60_000.0, api.Idempotency.NOT_IDEMPOTENT)
 
     async def test() -> None:
@@ -95,7 +95,7 @@
     play(test)
 
 
-def test_no_server_is_a_refusal_with_a_time_to_come_back() -> None:
+def test_without_servers_a_request_is_rejected_with_retry_after() -> None:
     async def test() -> None:
         async with gateway(config(1, None, roster(entry("a", 1, "leaving")))) as app:
             [answer] = await ask(app, query())
@@ -104,7 +104,7 @@
     play(test)
 
 
-def test_answers_come_in_the_order_of_the_commands() -> None:
+def test_pipelined_requests_are_answered_in_order() -> None:
     async def test() -> None:
         async with one_gateway(script=[None, None]) as (app, node, _):
             reader, writer = await connect(app.lifecycle.address)
@@ -120,7 +120,7 @@
     play(test)
 
 
-def test_a_silent_backend_costs_no_query_its_answer() -> None:
+def test_a_silent_backend_costs_no_request_its_response() -> None:
     async def test() -> None:
         quick = api.RequestClass("balance-check", 1000.0, 1000.0, api.Idempotency.IDEMPOTENT)
         async with Backend(script=[None] * 3) as node, Discovery(entry("a", node.port)) as list_:
@@ -133,7 +133,7 @@
     play(test)
 
 
-def test_a_client_that_leaves_ends_its_attempt() -> None:
+def test_a_client_disconnect_cancels_its_attempt() -> None:
     async def test() -> None:
         async with one_gateway(script=[None]) as (app, node, _):
             _, writer = await connect(app.lifecycle.address)
@@ -183,7 +183,7 @@
     play(test)
 
 
-def test_a_query_before_a_fault_in_the_same_piece_is_served() -> None:
+def test_a_request_before_a_protocol_fault_in_the_same_chunk_is_served() -> None:
     """The parser gave nothing of a piece with a fault in it: what was taken before it had no answer."""
 
     async def test() -> None:
@@ -194,7 +194,7 @@
     play(test)
 
 
-def test_pong_only_once_a_list_is_known() -> None:
+def test_ping_is_answered_with_pong_only_once_an_endpoint_list_is_known() -> None:
     async def test() -> None:
         list_ = Discovery()
         async with list_:
@@ -211,7 +211,7 @@
     play(test)
 
 
-def test_nothing_new_goes_to_a_server_that_leaves() -> None:
+def test_no_new_attempt_is_sent_to_a_draining_server() -> None:
     async def test() -> None:
         async with one_gateway(script=[None]) as (app, node, list_):
             reader, writer = await connect(app.lifecycle.address)
@@ -231,7 +231,7 @@
     play(test)
 
 
-def test_a_connection_serves_one_query_after_another() -> None:
+def test_a_connection_is_reused_for_consecutive_requests() -> None:
     async def test() -> None:
         async with one_gateway() as (app, node, _):
             for n in range(20):
@@ -241,7 +241,7 @@
     play(test)
 
 
-def test_a_server_that_is_not_there_never_ran() -> None:
+def test_an_attempt_on_an_unreachable_server_never_ran() -> None:
     async def test() -> None:
         async with Backend() as gone:
             port = gone.port
@@ -254,7 +254,7 @@
     play(test)
 
 
-def test_after_sigterm_what_was_taken_is_answered_and_then_it_ends() -> None:
+def test_after_sigterm_accepted_requests_are_answered_before_the_close() -> None:
     async def test() -> None:
         async with one_gateway(script=[None]) as (app, node, _):
             reader, writer = await connect(app.lifecycle.address)
@@ -290,7 +290,7 @@
     play(test)
 
 
-def test_no_more_is_read_of_a_client_while_too_many_commands_wait() -> None:
+def test_backpressure_stops_reading_at_the_bound_of_pipelined_requests() -> None:
     """The bound was looked at before what had been read was taken: it held back nothing."""
 
     class Core:
--- a/tests/gateway/resp/test_connection_close.py
+++ b/tests/gateway/resp/test_connection_close.py
@@ -113,7 +113,7 @@
     play(test)
 
 
-def test_a_client_that_goes_while_no_more_is_read_of_it_is_seen() -> None:
+def test_a_disconnect_is_noticed_while_backpressure_stops_reading() -> None:
     """More lay unread than one reading takes, and the close behind it."""
 
     async def test() -> None:
@@ -148,7 +148,7 @@
         return lambda: None
 
 
-def test_nothing_begins_for_a_client_that_was_gone_when_its_bytes_had_their_turn() -> None:
+def test_no_attempt_starts_for_a_client_that_disconnected_before_its_bytes_were_handled() -> None:
     """A closed stream still gives what lies in its buffer."""
 
     async def test() -> None:
@@ -175,7 +175,7 @@
     play(test)
 
 
-def test_much_at_once_is_taken_piece_by_piece_and_not_for_a_client_that_has_gone(
+def test_large_input_is_handled_in_chunks_and_not_for_a_disconnected_client(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """560 queries of one write had their decisions in one turn, though their client was gone."""
@@ -203,7 +203,7 @@
     play(test)
 
 
-def test_who_sends_on_and_on_leaves_others_their_turns(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_client_that_sends_without_pause_does_not_starve_others(monkeypatch: pytest.MonkeyPatch) -> None:
     """What lies in a socket is read at once, without a round of the event loop: a flood of small writes
     kept it."""
     taken: list[RespClientConnection] = []
@@ -230,7 +230,7 @@
     play(test)
 
 
-def test_answers_that_are_ready_at_once_are_written_as_they_are_fetched(
+def test_responses_ready_at_once_are_written_as_the_client_fetches_them(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Three of 60,000 bytes behind a slow first one passed the stream's bound: the connection was closed
@@ -256,7 +256,7 @@
     play(test)
 
 
-def test_a_link_that_has_ended_leaves_nothing_to_the_collector() -> None:
+def test_a_closed_connection_leaves_nothing_to_the_garbage_collector() -> None:
     """The last reading's exception held the frame that it was raised in: 3.6 MB lay there on a day of many
     clients."""
 
@@ -313,7 +313,7 @@
         front.stop()
 
 
-def test_a_client_that_fetches_a_part_and_stops_is_cut_off() -> None:
+def test_a_client_that_stops_fetching_responses_is_disconnected() -> None:
     """That the first of two writes had gone out told that nothing waited to be fetched any more."""
 
     async def test() -> None:
@@ -336,7 +336,7 @@
     play(test)
 
 
-def test_half_a_command_does_not_keep_a_client_that_fetches_nothing() -> None:
+def test_an_incomplete_command_does_not_keep_a_client_that_fetches_nothing() -> None:
     """Its time for the command was up first, and from then on nobody looked at its answers."""
 
     async def test() -> None:
@@ -358,7 +358,7 @@
     play(test)
 
 
-def test_the_rest_of_a_command_has_no_time_to_come_while_it_is_not_read() -> None:
+def test_the_command_timeout_is_suspended_while_backpressure_stops_reading() -> None:
     """65 long queries of one write: the last lies half read until there is room, and its time was up by
     then."""
 
@@ -385,7 +385,7 @@
 
 
 @pytest.mark.parametrize("end", ["sweep", "make room", "end"])
-def test_what_was_read_and_had_no_turn_yet_keeps_its_connection(
+def test_data_read_but_not_yet_handled_keeps_its_connection_open(
     end: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """A reading is done one round of the event loop before it is taken: the socket was empty, no command
@@ -413,7 +413,7 @@
     play(test)
 
 
-def test_a_query_taken_while_the_last_answer_goes_out_has_its_answer_too() -> None:
+def test_a_request_read_while_the_last_response_is_sent_is_answered_too() -> None:
     """The end waited for the writing alone, and closed our side under a query that had come meanwhile."""
     value = b"*1\r\n" + resp("v" * 65_000)[4:]
 
@@ -443,7 +443,7 @@
     play(test)
 
 
-def test_what_crosses_our_end_is_not_sent_on() -> None:
+def test_requests_that_cross_the_close_are_not_forwarded() -> None:
     """It is read so that no close comes over it and takes the last answer along; its client sends it
     again."""
 
@@ -459,7 +459,7 @@
     play(test)
 
 
-def test_the_rest_of_a_command_that_lies_unread_is_taken_before_its_connection_is_dropped() -> None:
+def test_the_unread_rest_of_a_command_is_handled_before_its_connection_is_closed() -> None:
     async def test() -> None:
         async with one_gateway() as (app, _, _):
             made, link = await linked(app)
@@ -474,7 +474,7 @@
     play(test)
 
 
-def test_who_finds_no_place_is_told_so(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_client_beyond_the_connection_bound_is_rejected(monkeypatch: pytest.MonkeyPatch) -> None:
     """Its connection was closed over the query that it had written."""
     monkeypatch.setattr(parts, "RESP_CLIENTS_FRACTION", 1 / 1024)
 
@@ -501,7 +501,7 @@
 # The end of the process ----------------------------------------------------------------------------------
 
 
-def test_what_waits_to_be_accepted_when_the_listener_stops_is_answered() -> None:
+def test_connections_in_the_accept_queue_are_answered_when_the_listener_stops() -> None:
     """The system had accepted it, and reset it with the listening socket; nor did the end wait for one whose
     reading had not begun."""
 
@@ -525,7 +525,7 @@
 
 
 @pytest.mark.parametrize("before", [ShutdownEvent.TERMINATE, ShutdownEvent.SUCCESSOR_READY])
-def test_the_time_for_the_last_answers_counts_from_sigterm(
+def test_the_grace_period_for_the_last_responses_counts_from_sigterm(
     before: ShutdownEvent, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Where a successor served already nothing had been waited for, and yet it was taken off."""
@@ -553,7 +553,7 @@
     play(test)
 
 
-def test_near_sigkill_what_still_comes_is_refused_and_not_sent_on() -> None:
+def test_near_sigkill_new_requests_are_rejected_and_not_forwarded() -> None:
     async def test() -> None:
         async with one_gateway(script=[None, None]) as (app, node, _):
             made = client(app)
@@ -642,7 +642,7 @@
         return super().accept()
 
 
-def test_without_a_descriptor_accepting_rests_and_goes_on(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_without_descriptors_accepting_pauses_and_resumes(monkeypatch: pytest.MonkeyPatch) -> None:
     """The socket stays readable: each round of the event loop tried again and logged a traceback."""
     monkeypatch.setattr(front_module, "ACCEPT_RETRY_INTERVAL_S", 0.2)
 
--- a/tests/gateway/resp/test_retries.py
+++ b/tests/gateway/resp/test_retries.py
@@ -196,7 +196,7 @@
 
 @pytest.mark.usefixtures("small")
 @pytest.mark.parametrize("answer", [b"-BUSY too many connections\r\n", b"-ERR failed\r\n", GOOD])
-def test_what_is_answered_before_it_is_out_whole_never_comes_whole(answer: bytes) -> None:
+def test_a_request_answered_before_it_is_sent_completely_never_arrives_completely(answer: bytes) -> None:
     """A server that turned it away early got the rest all the same, since its connection was used on: the
     request ran there while another attempt was out."""
 
@@ -239,7 +239,7 @@
 
 
 @pytest.mark.parametrize("where", ["mailbox", "connection on its way up", "counter"])
-def test_a_query_that_waits_is_not_sent_on_once_its_client_has_left(where: str) -> None:
+def test_a_pending_request_is_not_forwarded_once_its_client_has_disconnected(where: str) -> None:
     async def counted() -> None:
         async with Counter() as counter, one_gateway(counter=counter.port) as (app, backend, _):
             _, writer = await connect(app.lifecycle.address)
@@ -298,7 +298,7 @@
     play(test)
 
 
-def test_nothing_is_opened_for_a_client_that_has_left() -> None:
+def test_no_connection_is_opened_for_a_disconnected_client() -> None:
     """It left between the decision and the link's turn: a connection was dialled for nobody, or one at
     rest counted as just used, and was kept beyond the time after which servers close it."""
 
@@ -328,7 +328,7 @@
     play(test)
 
 
-def test_a_thousand_that_wait_too_long_end_once_each() -> None:
+def test_a_thousand_attempts_that_wait_too_long_end_once_each() -> None:
     """Each was ended inside the one before: some hundreds deep the rest was left to wait."""
 
     async def test() -> None:
@@ -346,7 +346,7 @@
 # Answers ----------------------------------------------------------------------------------------------
 
 
-def test_a_second_answer_that_comes_late_is_no_other_attempts(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_late_duplicate_response_is_not_taken_for_another_attempt(monkeypatch: pytest.MonkeyPatch) -> None:
     """Where no other connection was idle, one was used at once after its answer: a second copy that came some
     milliseconds later was taken for the next request's."""
     monkeypatch.setattr(upstream_connection, "REST_INTERVAL_S", 60.0, raising=False)
@@ -370,7 +370,7 @@
     play(test)
 
 
-def test_an_attempt_waits_for_a_connection_that_rests_and_opens_none() -> None:
+def test_an_attempt_waits_for_a_resting_connection_and_opens_none() -> None:
     async def test() -> None:
         async with node() as at:
             made = await at.idle()
@@ -429,7 +429,7 @@
     play(test)
 
 
-def test_without_a_descriptor_those_that_wait_are_told_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_without_descriptors_pending_attempts_fail_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
     def none(address: tuple[str, int]) -> socket.socket:
         raise OSError(errno.EMFILE, "too many open files")
 
@@ -559,7 +559,7 @@
 
 
 @pytest.mark.parametrize("many", [2, 20])
-def test_a_server_that_refuses_is_not_dialled_again_and_all_that_wait_are_told(many: int) -> None:
+def test_a_refusing_server_is_not_dialled_again_and_all_pending_attempts_fail(many: int) -> None:
     """Each connection that was refused while another was on its way was dialled anew: 1,200 dials in 250
     ms."""
 
@@ -584,7 +584,7 @@
     play(test)
 
 
-def test_the_next_connection_is_opened_as_one_comes_up() -> None:
+def test_the_next_connection_is_opened_when_one_is_established() -> None:
     """Only eight may be on their way at once; behind these none was, and the ninth attempt waited for a
     first answer."""
 
