--- a/tests/gateway/resp/test_connection_close.py
+++ b/tests/gateway/resp/test_connection_close.py
@@ -31,8 +31,12 @@
 from badgeryoke.gateway.attempt import Request
 from badgeryoke.gateway.graceful_shutdown import ShutdownEvent
 from badgeryoke.gateway.resp import listener as front_module
-from badgeryoke.gateway.resp.client_connection import MOST_WAITING, READ_AT_ONCE, RespClientConnection
-from badgeryoke.gateway.resp.listener import COMMAND_S, UNREAD_S, RespListener
+from badgeryoke.gateway.resp.client_connection import (
+    MAX_PIPELINED_REQUESTS,
+    READ_CHUNK_BYTES,
+    RespClientConnection,
+)
+from badgeryoke.gateway.resp.listener import COMMAND_TIMEOUT_S, UNFETCHED_TIMEOUT_S, RespListener
 from badgeryoke.gateway.responses import Response, Served
 from badgeryoke.gateway.wall_clock import WallClock
 from tests.decisions.test_simulator_adapter import PARAMS
@@ -109,17 +113,17 @@
     play(test)
 
 
-def test_a_client_that_goes_while_no_more_is_read_of_it_is_seen() -> None:
+def test_a_disconnect_is_noticed_while_backpressure_stops_reading() -> None:
     """More lay unread than one reading takes, and the close behind it."""
 
     async def test() -> None:
-        async with one_gateway(script=[None] * 2 * MOST_WAITING) as (app, _, _):
+        async with one_gateway(script=[None] * 2 * MAX_PIPELINED_REQUESTS) as (app, _, _):
             made = client(app)
-            made.sendall(b"".join(query(f"r{n}") for n in range(MOST_WAITING)))
+            made.sendall(b"".join(query(f"r{n}") for n in range(MAX_PIPELINED_REQUESTS)))
             await until(
                 lambda: (
                     app.parts.resp_listener.links
-                    and len(list(app.parts.resp_listener.links)[-1]._slots) == MOST_WAITING
+                    and len(list(app.parts.resp_listener.links)[-1]._slots) == MAX_PIPELINED_REQUESTS
                 )
             )
             made.sendall(query("behind", "load-send", key="k", body="x" * 30_000))
@@ -144,7 +148,7 @@
         return lambda: None
 
 
-def test_nothing_begins_for_a_client_that_was_gone_when_its_bytes_had_their_turn() -> None:
+def test_no_attempt_starts_for_a_client_that_disconnected_before_its_bytes_were_handled() -> None:
     """A closed stream still gives what lies in its buffer."""
 
     async def test() -> None:
@@ -159,31 +163,31 @@
             lambda _: None,
         )
         serving = asyncio.ensure_future(link.serve())
-        theirs.sendall(b"".join(query(f"r{n}") for n in range(MOST_WAITING)))
-        await until(lambda: core.taken == MOST_WAITING)
-        theirs.sendall(query("behind") + query("full", "load-send", key="k", body="x" * READ_AT_ONCE))
+        theirs.sendall(b"".join(query(f"r{n}") for n in range(MAX_PIPELINED_REQUESTS)))
+        await until(lambda: core.taken == MAX_PIPELINED_REQUESTS)
+        theirs.sendall(query("behind") + query("full", "load-send", key="k", body="x" * READ_CHUNK_BYTES))
         await until(lambda: stream._read_buffer_size)
         stream.close()
         await serving
-        assert core.taken == MOST_WAITING
+        assert core.taken == MAX_PIPELINED_REQUESTS
         theirs.close()
 
     play(test)
 
 
-def test_much_at_once_is_taken_piece_by_piece_and_not_for_a_client_that_has_gone(
+def test_large_input_is_handled_in_chunks_and_not_for_a_disconnected_client(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """560 queries of one write had their decisions in one turn, though their client was gone."""
     sizes: list[int] = []
-    taken: Any = RespClientConnection._take
+    taken: Any = RespClientConnection._data_received
 
     def take(link: RespClientConnection, data: bytes) -> None:
         if not link._stream.closed():
             sizes.append(len(data))
         taken(link, data)
 
-    monkeypatch.setattr(RespClientConnection, "_take", take)
+    monkeypatch.setattr(RespClientConnection, "_data_received", take)
 
     async def test() -> None:
         async with one_gateway() as (app, _, _):
@@ -194,23 +198,23 @@
             await until(lambda: not app.parts.resp_listener.links)
             assert sizes == [] and app.parts.dispatcher.unanswered == 0
             assert await ask(app, resp("PING") * 2000) == ["+PONG"]  # while it asks on
-            assert max(sizes) == READ_AT_ONCE
+            assert max(sizes) == READ_CHUNK_BYTES
 
     play(test)
 
 
-def test_who_sends_on_and_on_leaves_others_their_turns(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_client_that_sends_without_pause_does_not_starve_others(monkeypatch: pytest.MonkeyPatch) -> None:
     """What lies in a socket is read at once, without a round of the event loop: a flood of small writes
     kept it."""
     taken: list[RespClientConnection] = []
-    take: Any = RespClientConnection._take
-    monkeypatch.setattr(front_module, "READ_AT_ONCE", 512)  # as small writes are read
+    take: Any = RespClientConnection._data_received
+    monkeypatch.setattr(front_module, "READ_CHUNK_BYTES", 512)  # as small writes are read
 
     def counted(link: RespClientConnection, data: bytes) -> None:
         taken.append(link)
         take(link, data)
 
-    monkeypatch.setattr(RespClientConnection, "_take", counted)
+    monkeypatch.setattr(RespClientConnection, "_data_received", counted)
 
     async def test() -> None:
         async with one_gateway() as (app, _, _):
@@ -226,7 +230,7 @@
     play(test)
 
 
-def test_answers_that_are_ready_at_once_are_written_as_they_are_fetched(
+def test_responses_ready_at_once_are_written_as_the_client_fetches_them(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Three of 60,000 bytes behind a slow first one passed the stream's bound: the connection was closed
@@ -252,7 +256,7 @@
     play(test)
 
 
-def test_a_link_that_has_ended_leaves_nothing_to_the_collector() -> None:
+def test_a_closed_connection_leaves_nothing_to_the_garbage_collector() -> None:
     """The last reading's exception held the frame that it was raised in: 3.6 MB lay there on a day of many
     clients."""
 
@@ -309,7 +313,7 @@
         front.stop()
 
 
-def test_a_client_that_fetches_a_part_and_stops_is_cut_off() -> None:
+def test_a_client_that_stops_fetching_responses_is_disconnected() -> None:
     """That the first of two writes had gone out told that nothing waited to be fetched any more."""
 
     async def test() -> None:
@@ -322,17 +326,17 @@
             [link] = front.links
             made.setblocking(False)
             got = 0
-            while link._unsent > 60_100:  # the first is not out
+            while link._unsent_bytes > 60_100:  # the first is not out
                 got += len(await asyncio.get_running_loop().sock_recv(made, 4096))
-            assert link._unsent and link.unread_since < math.inf and got < 120_000
-            link.unread_since -= UNREAD_S
+            assert link._unsent_bytes and link.unfetched_since_s < math.inf and got < 120_000
+            link.unfetched_since_s -= UNFETCHED_TIMEOUT_S
             front.sweep()
             await until(lambda: not front.links)
 
     play(test)
 
 
-def test_half_a_command_does_not_keep_a_client_that_fetches_nothing() -> None:
+def test_an_incomplete_command_does_not_keep_a_client_that_fetches_nothing() -> None:
     """Its time for the command was up first, and from then on nobody looked at its answers."""
 
     async def test() -> None:
@@ -342,32 +346,32 @@
             for answer in core.given:
                 answer(Served(b"x" * 60_000))
             [link] = front.links
-            await until(lambda: link.unread_since < math.inf)
-            link.begun_at -= COMMAND_S
+            await until(lambda: link.unfetched_since_s < math.inf)
+            link.command_started_s -= COMMAND_TIMEOUT_S
             front.sweep()
             await asyncio.sleep(0)
             assert front.links  # it has its time to fetch
-            link.unread_since -= UNREAD_S
+            link.unfetched_since_s -= UNFETCHED_TIMEOUT_S
             front.sweep()
             await until(lambda: not front.links)
 
     play(test)
 
 
-def test_the_rest_of_a_command_has_no_time_to_come_while_it_is_not_read() -> None:
+def test_the_command_timeout_is_suspended_while_backpressure_stops_reading() -> None:
     """65 long queries of one write: the last lies half read until there is room, and its time was up by
     then."""
 
     async def test() -> None:
         async with narrow() as (core, front, made):
-            body = "b" * (READ_AT_ONCE // 32)
+            body = "b" * (READ_CHUNK_BYTES // 32)
             made.setblocking(False)
             asked = b"".join(query(f"r{n:03}", body=body) for n in range(80))
             sending = asyncio.ensure_future(asyncio.get_running_loop().sock_sendall(made, asked))
-            await until(lambda: len(core.given) >= MOST_WAITING)
+            await until(lambda: len(core.given) >= MAX_PIPELINED_REQUESTS)
             await asyncio.sleep(0.01)
             [link] = front.links
-            assert link._held_back and not link._parser.idle and link.begun_at == math.inf
+            assert link._backpressured and not link._parser.is_idle and link.command_started_s == math.inf
             front.sweep()
             for answer in core.given:
                 answer(Served(b"value"))
@@ -381,7 +385,7 @@
 
 
 @pytest.mark.parametrize("end", ["sweep", "make room", "end"])
-def test_what_was_read_and_had_no_turn_yet_keeps_its_connection(
+def test_data_read_but_not_yet_handled_keeps_its_connection_open(
     end: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """A reading is done one round of the event loop before it is taken: the socket was empty, no command
@@ -390,18 +394,18 @@
     async def test() -> None:
         async with one_gateway() as (app, _, _):
             made, link = await linked(app)
-            monkeypatch.setattr(front_module, "IDLE_S", 0.0)
+            monkeypatch.setattr(front_module, "IDLE_TIMEOUT_S", 0.0)
             made.sendall(query("second"))
             read(link)
             match end:
                 case "sweep":
                     app.parts.resp_listener.sweep()
                 case "make room":
-                    assert not app.parts.resp_listener._make_room(0.0)
+                    assert not app.parts.resp_listener._evict_idle_connection(0.0)
                 case "end":
-                    link.end()
+                    link.drain()
                     app.parts.loop.run()
-            monkeypatch.setattr(front_module, "IDLE_S", 20.0)
+            monkeypatch.setattr(front_module, "IDLE_TIMEOUT_S", 20.0)
             made.setblocking(False)
             assert await asyncio.get_running_loop().sock_recv(made, 100) == b"$5\r\nvalue\r\n"
             made.close()
@@ -409,7 +413,7 @@
     play(test)
 
 
-def test_a_query_taken_while_the_last_answer_goes_out_has_its_answer_too() -> None:
+def test_a_request_read_while_the_last_response_is_sent_is_answered_too() -> None:
     """The end waited for the writing alone, and closed our side under a query that had come meanwhile."""
     value = b"*1\r\n" + resp("v" * 65_000)[4:]
 
@@ -423,8 +427,8 @@
             link._stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
             made.sendall(query("first"))
             await until(lambda: link._stream.writing())
-            link.end()
-            await until(lambda: link._ending)
+            link.drain()
+            await until(lambda: link._closing)
             made.sendall(query("second"))
             await until(lambda: len(node.commands) == 2)
             made.setblocking(False)
@@ -439,30 +443,30 @@
     play(test)
 
 
-def test_what_crosses_our_end_is_not_sent_on() -> None:
+def test_requests_that_cross_the_close_are_not_forwarded() -> None:
     """It is read so that no close comes over it and takes the last answer along; its client sends it
     again."""
 
     async def test() -> None:
         async with one_gateway() as (app, node, _):
             made, link = await linked(app)
-            link.end()
+            link.drain()
             app.parts.loop.run()
-            assert link._finished
+            assert link._output_ended
             made.sendall(query("crossing"))
             assert await answers(made) == b"" and len(node.commands) == 1
 
     play(test)
 
 
-def test_the_rest_of_a_command_that_lies_unread_is_taken_before_its_connection_is_dropped() -> None:
+def test_the_unread_rest_of_a_command_is_handled_before_its_connection_is_closed() -> None:
     async def test() -> None:
         async with one_gateway() as (app, _, _):
             made, link = await linked(app)
             made.sendall(query("slow")[:40])
-            await until(lambda: link.held)
+            await until(lambda: link.buffered_bytes)
             made.sendall(query("slow")[40:])
-            link.drop()
+            link.close_incomplete()
             made.setblocking(False)
             assert await asyncio.get_running_loop().sock_recv(made, 100) == b"$5\r\nvalue\r\n"
             made.close()
@@ -470,7 +474,7 @@
     play(test)
 
 
-def test_who_finds_no_place_is_told_so(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_client_beyond_the_connection_bound_is_rejected(monkeypatch: pytest.MonkeyPatch) -> None:
     """Its connection was closed over the query that it had written."""
     monkeypatch.setattr(parts, "RESP_CLIENTS_FRACTION", 1 / 1024)
 
@@ -497,7 +501,7 @@
 # The end of the process ----------------------------------------------------------------------------------
 
 
-def test_what_waits_to_be_accepted_when_the_listener_stops_is_answered() -> None:
+def test_connections_in_the_accept_queue_are_answered_when_the_listener_stops() -> None:
     """The system had accepted it, and reset it with the listening socket; nor did the end wait for one whose
     reading had not begun."""
 
@@ -521,7 +525,7 @@
 
 
 @pytest.mark.parametrize("before", [ShutdownEvent.TERMINATE, ShutdownEvent.SUCCESSOR_READY])
-def test_the_time_for_the_last_answers_counts_from_sigterm(
+def test_the_grace_period_for_the_last_responses_counts_from_sigterm(
     before: ShutdownEvent, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Where a successor served already nothing had been waited for, and yet it was taken off."""
@@ -549,7 +553,7 @@
     play(test)
 
 
-def test_near_sigkill_what_still_comes_is_refused_and_not_sent_on() -> None:
+def test_near_sigkill_new_requests_are_rejected_and_not_forwarded() -> None:
     async def test() -> None:
         async with one_gateway(script=[None, None]) as (app, node, _):
             made = client(app)
@@ -638,9 +642,9 @@
         return super().accept()
 
 
-def test_without_a_descriptor_accepting_rests_and_goes_on(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_without_descriptors_accepting_pauses_and_resumes(monkeypatch: pytest.MonkeyPatch) -> None:
     """The socket stays readable: each round of the event loop tried again and logged a traceback."""
-    monkeypatch.setattr(front_module, "ACCEPT_AGAIN_S", 0.2)
+    monkeypatch.setattr(front_module, "ACCEPT_RETRY_INTERVAL_S", 0.2)
 
     async def test() -> None:
         async with one_gateway() as (app, _, _):
--- a/tests/gateway/resp/test_retries.py
+++ b/tests/gateway/resp/test_retries.py
@@ -27,7 +27,7 @@
 from badgeryoke.gateway.connecting import new_socket
 from badgeryoke.gateway.dispatcher import Dispatcher
 from badgeryoke.gateway.resp import upstream_connection
-from badgeryoke.gateway.resp.upstream_connection import BEGUN_MS, RespUpstream
+from badgeryoke.gateway.resp.upstream_connection import RESPONSE_SILENCE_TIMEOUT_MS, RespUpstream
 from badgeryoke.gateway.responses import Response
 from tests.support.dispatcher_bench import KEYED_CLASS, NOT_IDEMPOTENT_CLASS, NoCounter
 from tests.support.running import ask, until
@@ -93,7 +93,7 @@
         await read(made, b"first")
         made.send(GOOD)
         await until(lambda: self.link._idle)
-        self.link._idle[0].answered_at = 0.0
+        self.link._idle[0].last_response_s = 0.0
         self.ends.clear()
         return made
 
@@ -102,7 +102,7 @@
         one = self.start("long", LONG, **more)
         made = await self.accept()
         await until(lambda: one.write_started)
-        assert next(iter(self.link._all)).stream.writing()
+        assert next(iter(self.link._connections)).stream.writing()
         return one, made
 
 
@@ -114,7 +114,7 @@
     finally:
         for one in (made.listener, *made.taken):
             one.close()
-        for connection in list(made.link._all):
+        for connection in list(made.link._connections):
             connection.stream.close()
 
 
@@ -164,13 +164,13 @@
     async def test() -> None:
         async with node() as at:
             made = await at.idle()
-            real = upstream_connection.encode
+            real = upstream_connection.encode_request
 
             def crossed(*args: Any) -> bytes:
                 reset(made)
                 return real(*args)
 
-            monkeypatch.setattr(upstream_connection, "encode", crossed)
+            monkeypatch.setattr(upstream_connection, "encode_request", crossed)
             at.start("r1")
             await until(lambda: at.ends)
             assert at.ends == [("r1", Verdict.CONNECT_FAILED, b"")]
@@ -196,7 +196,7 @@
 
 @pytest.mark.usefixtures("small")
 @pytest.mark.parametrize("answer", [b"-BUSY too many connections\r\n", b"-ERR failed\r\n", GOOD])
-def test_what_is_answered_before_it_is_out_whole_never_comes_whole(answer: bytes) -> None:
+def test_a_request_answered_before_it_is_sent_completely_never_arrives_completely(answer: bytes) -> None:
     """A server that turned it away early got the rest all the same, since its connection was used on: the
     request ran there while another attempt was out."""
 
@@ -239,7 +239,7 @@
 
 
 @pytest.mark.parametrize("where", ["mailbox", "connection on its way up", "counter"])
-def test_a_query_that_waits_is_not_sent_on_once_its_client_has_left(where: str) -> None:
+def test_a_pending_request_is_not_forwarded_once_its_client_has_disconnected(where: str) -> None:
     async def counted() -> None:
         async with Counter() as counter, one_gateway(counter=counter.port) as (app, backend, _):
             _, writer = await connect(app.lifecycle.address)
@@ -254,14 +254,14 @@
 
     async def dialled() -> None:
         async with node() as at:
-            real, up = at.link.opened, asyncio.Event()
+            real, up = at.link.connection_opened, asyncio.Event()
 
             def opened(connection: Any) -> None:
                 asyncio.ensure_future(up.wait()).add_done_callback(
                     lambda _: at.link.deliver(real, connection)
                 )
 
-            at.link.opened = opened  # type: ignore[method-assign]
+            at.link.connection_opened = opened  # type: ignore[method-assign]
             one = at.start("r1")
             made = await at.accept()
             one.abort(Verdict.CANCELLED, final=True)
@@ -298,7 +298,7 @@
     play(test)
 
 
-def test_nothing_is_opened_for_a_client_that_has_left() -> None:
+def test_no_connection_is_opened_for_a_disconnected_client() -> None:
     """It left between the decision and the link's turn: a connection was dialled for nobody, or one at
     rest counted as just used, and was kept beyond the time after which servers close it."""
 
@@ -315,30 +315,30 @@
             at.link.start(one)
             one.abort(Verdict.CANCELLED, final=True)
             at.loop.run()
-            assert not at.link._all and not at.link._waiting
+            assert not at.link._connections and not at.link._pending
             await at.idle()
-            used_at = at.link._idle[0].used_at
+            used_at = at.link._idle[0].last_used_ms
             at.now += 1000.0
             one = Attempt(one.request, 1, 1, at.now, at.now + 60_000.0, at._ended)
             at.link.start(one)
             one.abort(Verdict.CANCELLED, final=True)
             at.loop.run()
-            assert at.link._idle[0].used_at == used_at
+            assert at.link._idle[0].last_used_ms == used_at
 
     play(test)
 
 
-def test_a_thousand_that_wait_too_long_end_once_each() -> None:
+def test_a_thousand_attempts_that_wait_too_long_end_once_each() -> None:
     """Each was ended inside the one before: some hundreds deep the rest was left to wait."""
 
     async def test() -> None:
         async with node() as at:
-            at.link._most = 1
+            at.link._max_connections = 1
             for n in range(1500):
                 at.start(f"r{n}")
             at.now += 60_000.0
             await until(lambda: len(at.ends) == 1500)
-            assert {end[1] for end in at.ends} == {Verdict.NOT_SENT} and not at.link._waiting
+            assert {end[1] for end in at.ends} == {Verdict.NOT_SENT} and not at.link._pending
 
     play(test)
 
@@ -346,10 +346,10 @@
 # Answers ----------------------------------------------------------------------------------------------
 
 
-def test_a_second_answer_that_comes_late_is_no_other_attempts(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_late_duplicate_response_is_not_taken_for_another_attempt(monkeypatch: pytest.MonkeyPatch) -> None:
     """Where no other connection was idle, one was used at once after its answer: a second copy that came some
     milliseconds later was taken for the next request's."""
-    monkeypatch.setattr(upstream_connection, "REST_S", 60.0, raising=False)
+    monkeypatch.setattr(upstream_connection, "REST_INTERVAL_S", 60.0, raising=False)
 
     async def test() -> None:
         async with node() as at:
@@ -370,11 +370,11 @@
     play(test)
 
 
-def test_an_attempt_waits_for_a_connection_that_rests_and_opens_none() -> None:
+def test_an_attempt_waits_for_a_resting_connection_and_opens_none() -> None:
     async def test() -> None:
         async with node() as at:
             made = await at.idle()
-            at.link._idle[0].answered_at = at.loop.time()
+            at.link._idle[0].last_response_s = at.loop.time()
             at.start("r2")
             assert b"r2" in await read(made, b"r2") and await at.accepts_none()
 
@@ -388,7 +388,7 @@
 
     async def test() -> None:
         async with node() as at:
-            real = at.link.opened
+            real = at.link.connection_opened
 
             def late(connection: Any) -> None:  # the event loop is late: the end is there before
                 while True:
@@ -404,7 +404,7 @@
                     made.close()
                 real(connection)
 
-            at.link.opened = late  # type: ignore[method-assign]
+            at.link.connection_opened = late  # type: ignore[method-assign]
             at.start("r1")
             await until(lambda: at.ends or len(at.taken) > 20)
             assert [end[1] for end in at.ends] == [Verdict.CONNECT_FAILED] and len(at.taken) == 1
@@ -429,7 +429,7 @@
     play(test)
 
 
-def test_without_a_descriptor_those_that_wait_are_told_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_without_descriptors_pending_attempts_fail_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
     def none(address: tuple[str, int]) -> socket.socket:
         raise OSError(errno.EMFILE, "too many open files")
 
@@ -438,7 +438,7 @@
             with monkeypatch.context() as full:
                 full.setattr(connecting, "new_socket", none)
                 at.start("r1")
-                assert [end[1] for end in at.ends] == [Verdict.CONNECT_FAILED] and not at.link._all
+                assert [end[1] for end in at.ends] == [Verdict.CONNECT_FAILED] and not at.link._connections
             at.start("r2")
             assert b"r2" in await read(await at.accept(), b"r2")
 
@@ -454,10 +454,10 @@
             made = await at.accept()
             await read(made, b"r1")
             made.send(GOOD[:6])
-            await until(lambda: any(one.begun for one in at.link._all))
+            await until(lambda: any(one.response_started for one in at.link._connections))
             made.send(GOOD[6:])
-            at.now += BEGUN_MS
-            time.sleep(BEGUN_MS / 1000.0)
+            at.now += RESPONSE_SILENCE_TIMEOUT_MS
+            time.sleep(RESPONSE_SILENCE_TIMEOUT_MS / 1000.0)
             await until(lambda: at.ends)
             assert at.ends == [("r1", Verdict.OK, b"good")]
 
@@ -487,7 +487,7 @@
             other.send(GOOD)
             await until(lambda: sound.ends and at.ends)
             assert [end[1] for end in at.ends] == [Verdict.ERROR] and sound.ends[0][2] == b"good"
-            await until(lambda: not at.link._all)
+            await until(lambda: not at.link._connections)
             assert sent < 2_000_000
 
     play(test)
@@ -538,13 +538,15 @@
             await read(await first.accept(), b"r1")
             await second.idle()
             ended: list[bool] = []
-            write = second.link._write
+            write = second.link._send
 
             def written(*args: Any) -> None:
-                ended.append(not first.link._all or all(one.stream.closed() for one in first.link._all))
+                ended.append(
+                    not first.link._connections or all(one.stream.closed() for one in first.link._connections)
+                )
                 write(*args)
 
-            second.link._write = written  # type: ignore[method-assign, assignment]
+            second.link._send = written  # type: ignore[method-assign, assignment]
             scheduled = asyncio.get_running_loop()._scheduled  # type: ignore[attr-defined]
             [timer] = [one for one in scheduled if Verdict.TIMEOUT in (one._args or ())]
             made.post(lambda: None)  # both have mail, and the event loop comes to the timer first
@@ -557,7 +559,7 @@
 
 
 @pytest.mark.parametrize("many", [2, 20])
-def test_a_server_that_refuses_is_not_dialled_again_and_all_that_wait_are_told(many: int) -> None:
+def test_a_refusing_server_is_not_dialled_again_and_all_pending_attempts_fail(many: int) -> None:
     """Each connection that was refused while another was on its way was dialled anew: 1,200 dials in 250
     ms."""
 
@@ -577,23 +579,23 @@
                     made.start(f"r{n}")
                 await until(lambda: len(made.ends) == many)
             assert {end[1] for end in made.ends} == {Verdict.CONNECT_FAILED}
-            assert len(dials) <= upstream_connection.MOST_OPENING and not made.link._opening
+            assert len(dials) <= upstream_connection.MAX_CONNECTING and not made.link._connecting_count
 
     play(test)
 
 
-def test_the_next_connection_is_opened_as_one_comes_up() -> None:
+def test_the_next_connection_is_opened_when_one_is_established() -> None:
     """Only eight may be on their way at once; behind these none was, and the ninth attempt waited for a
     first answer."""
 
     async def test() -> None:
         async with node() as made:
-            made.link._most = 20
+            made.link._max_connections = 20
             for n in range(20):
                 made.start(f"r{n}")
             for _ in range(20):
                 await made.accept()
-            await until(lambda: not made.link._waiting)
-            assert len(made.link._all) == 20 and not made.ends
+            await until(lambda: not made.link._pending)
+            assert len(made.link._connections) == 20 and not made.ends
 
     play(test)
--- a/tests/gateway/test_operations.py
+++ b/tests/gateway/test_operations.py
@@ -276,7 +276,7 @@
 def test_a_client_that_never_stops_sending_is_closed_after_a_response(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(client_link_module, "END_TAKES_S", 0.1)
+    monkeypatch.setattr(client_link_module, "DRAIN_GRACE_S", 0.1)
 
     async def test() -> None:
         async with operated() as (app, _):
@@ -318,7 +318,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Read and dropped where the connection had stayed open for longer than it takes queries."""
-    monkeypatch.setattr(client_link_module, "END_TAKES_S", 0.05)
+    monkeypatch.setattr(client_link_module, "DRAIN_GRACE_S", 0.05)
 
     async def test() -> None:
         async with operated(script=[None], drain_s=0.05) as (app, node):
@@ -327,7 +327,7 @@
             await until(lambda: node.commands)
             [link] = app.parts.resp_listener.links
             app.end()
-            await until(lambda: link._ending)
+            await until(lambda: link._closing)
             writer.write(query("behind"))
             await until(lambda: len(link._slots) == 2)
             node.writers[0].write(b"*1\r\n$4\r\nlast\r\n")
@@ -343,7 +343,7 @@
             writer.write(query())
             assert await reader.readexactly(11) == b"$5\r\nvalue\r\n"
             [link] = app.parts.resp_listener.links
-            link._told_at -= client_link_module.LINGER_S
+            link._last_write_s -= client_link_module.LINGER_S
             app.end()
             assert await reader.read() == b"" and link._stream.closed()
             writer.close()
--- a/tests/gateway/test_parsers.py
+++ b/tests/gateway/test_parsers.py
@@ -45,10 +45,10 @@
 )
 def test_resp_values_are_parsed_in_any_pieces(data: bytes, values: list[Any]) -> None:
     at_once = RespParser()
-    assert at_once.feed(data) == values and at_once.idle
+    assert at_once.feed(data) == values and at_once.is_idle
     pieces = RespParser()
     got = [value for n in range(len(data)) for value in pieces.feed(data[n : n + 1])]
-    assert got == values and [type(v) for v in got] == [type(v) for v in values] and pieces.idle
+    assert got == values and [type(v) for v in got] == [type(v) for v in values] and pieces.is_idle
 
 
 @pytest.mark.parametrize(
@@ -119,7 +119,11 @@
     data = command([b"SVC.QUERY", b"", b"\r\n$1"]) + command([b"x" * 100]) + tail
     at_once, pieces = RespParser(), RespParser()
     in_pieces = [value for n in range(len(data)) for value in pieces.feed(data[n : n + 1])]
-    assert at_once.feed(data) == in_pieces and at_once.idle == pieces.idle and at_once.held == pieces.held
+    assert (
+        at_once.feed(data) == in_pieces
+        and at_once.is_idle == pieces.is_idle
+        and at_once.buffered_bytes == pieces.buffered_bytes
+    )
     assert at_once.feed(b"$1\r\nx\r\n" * 2) == pieces.feed(b"$1\r\nx\r\n" * 2)
 
 
--- a/tests/gateway/test_quota_counter_faults.py
+++ b/tests/gateway/test_quota_counter_faults.py
@@ -186,7 +186,7 @@
             counter.writers[0].write(b"$1\r\n")  # the first piece
             used = calls.client._active
             assert used is not None
-            await until(lambda: not used.parser.idle)
+            await until(lambda: not used.parser.is_idle)
             calls.now_ms += 6.0
             assert (await calls.replies.get()).verdict is Verdict.TIMEOUT  # of 7
             counter.answer = lambda total: total + b"\r\n" if total == b"3" else b"$1\r\n%b\r\n" % total
--- a/tests/gateway/test_response_stream.py
+++ b/tests/gateway/test_response_stream.py
@@ -9,7 +9,7 @@
 import pytest
 
 from badgeryoke.gateway.resp import upstream_connection as server_link_module
-from badgeryoke.gateway.resp.codec import MAX_BULK, MAX_LONG, Passed, RespParser
+from badgeryoke.gateway.resp.codec import MAX_BULK_BYTES, MAX_STREAMED_BYTES, RespParser, StreamedValue
 from badgeryoke.gateway.response_stream import (
     MAX_WINDOW_BYTES,
     MIN_WINDOW_BYTES,
@@ -31,33 +31,36 @@
 
 
 @pytest.mark.parametrize("step", [1000, 4097, 65536, 10**9])
-@pytest.mark.parametrize("size", [MAX_BULK + 1, 300_000])
+@pytest.mark.parametrize("size", [MAX_BULK_BYTES + 1, 300_000])
 def test_a_long_value_is_parsed_in_pieces_however_it_is_split(size: int, step: int) -> None:
-    parser, sent, got = RespParser(max_items=8, max_long=MAX_LONG), value(size), []
+    parser, sent, got = RespParser(max_items=8, max_long=MAX_STREAMED_BYTES), value(size), []
     data = b"*3\r\n$%d\r\n" % size + sent + TAIL
     values: list[Any] = []
     for at in range(0, len(data), step):
         values += parser.feed(data[at : at + step])
-        got += parser.pieces
-        parser.pieces = []
-        assert parser.held <= step + 128  # no more is kept than has just come
-    assert b"".join(got) == sent and parser.long == size and parser.long_whole
-    assert values == [[b"", b"used=1,cost=2", b"inflight=1,latency_ms=9"]] and type(values[0][0]) is Passed
-    parser.forget_long()
-    assert parser.idle and parser.feed(b"*1\r\n$1\r\nv\r\n") == [[b"v"]]
+        got += parser.stream_pieces
+        parser.stream_pieces = []
+        assert parser.buffered_bytes <= step + 128  # no more is kept than has just come
+    assert b"".join(got) == sent and parser.stream_length == size and parser.stream_complete
+    assert (
+        values == [[b"", b"used=1,cost=2", b"inflight=1,latency_ms=9"]]
+        and type(values[0][0]) is StreamedValue
+    )
+    parser.reset_stream()
+    assert parser.is_idle and parser.feed(b"*1\r\n$1\r\nv\r\n") == [[b"v"]]
 
 
 @pytest.mark.parametrize(
     ("data", "fault"),
     [
-        (b"*3\r\n$%d\r\n" % (MAX_LONG + 1), "length out of bounds"),
+        (b"*3\r\n$%d\r\n" % (MAX_STREAMED_BYTES + 1), "length out of bounds"),
         (b"*3\r\n$1\r\nv\r\n$70000\r\n", "length out of bounds"),  # not the first of the array
         (b"$70000\r\n", "length out of bounds"),  # in no array
         (b"*1\r\n$70000\r\n" + b"x" * 70000 + b"yy", "bulk string without its line end"),
     ],
 )
 def test_a_malformed_long_value_is_a_protocol_fault(data: bytes, fault: str) -> None:
-    parser = RespParser(max_items=8, max_long=MAX_LONG)
+    parser = RespParser(max_items=8, max_long=MAX_STREAMED_BYTES)
     parser.feed(data)
     assert parser.fault == fault
 
@@ -93,8 +96,8 @@
 
 def test_a_long_value_passes_completely_between_small_ones_and_is_counted() -> None:
     async def test() -> None:
-        big = value(MAX_LONG)
-        script = [b"*3\r\n$%d\r\n" % MAX_LONG + big + TAIL, b"*1\r\n$5\r\nsmall\r\n"]
+        big = value(MAX_STREAMED_BYTES)
+        script = [b"*3\r\n$%d\r\n" % MAX_STREAMED_BYTES + big + TAIL, b"*1\r\n$5\r\nsmall\r\n"]
         async with one_gateway(script=script) as (app, node, _):
             assert await ask(app, query("r1"), query("r2")) == [big, b"small"] or {
                 command[2] for command in node.commands
@@ -128,8 +131,12 @@
 
 def test_a_slow_reader_applies_backpressure_to_its_server_only() -> None:
     async def test() -> None:
-        big = value(MAX_LONG)
-        async with one_gateway(script=[b"*3\r\n$%d\r\n" % MAX_LONG + big + TAIL]) as (app, _, _list):
+        big = value(MAX_STREAMED_BYTES)
+        async with one_gateway(script=[b"*3\r\n$%d\r\n" % MAX_STREAMED_BYTES + big + TAIL]) as (
+            app,
+            _,
+            _list,
+        ):
             with socket.create_connection(app.lifecycle.address[:2]) as slow:
                 slow.sendall(query())
                 await until(lambda: app.parts.stream_budget.open_streams)
@@ -139,12 +146,12 @@
                 await until(lambda: relay.full)
                 for n in range(20):
                     assert await ask(app, query(f"beside{n}")) == [b"value"]
-                    assert relay.buffered_bytes <= MAX_WINDOW_BYTES + server_link_module.RELAY_CHUNK * 4
+                    assert relay.buffered_bytes <= MAX_WINDOW_BYTES + server_link_module.STREAM_READ_BYTES * 4
                 slow.setblocking(False)
                 got = bytearray()
                 loop = asyncio.get_running_loop()
-                head = b"$%d\r\n" % MAX_LONG
-                while len(got) < len(head) + MAX_LONG + 2:
+                head = b"$%d\r\n" % MAX_STREAMED_BYTES
+                while len(got) < len(head) + MAX_STREAMED_BYTES + 2:
                     got += await loop.sock_recv(slow, 300_000)
                 assert got == head + big + b"\r\n"
             await until(lambda: app.parts.dispatcher.unanswered == 0)
@@ -154,7 +161,9 @@
 
 @pytest.mark.parametrize("how", ["reset", "stall", "spoilt"])
 def test_an_aborted_value_ends_so_that_the_client_can_tell(how: str, monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(server_link_module, "STALLED_MS", 100.0 if how == "stall" else 60_000.0)
+    monkeypatch.setattr(
+        server_link_module, "STREAM_SILENCE_TIMEOUT_MS", 100.0 if how == "stall" else 60_000.0
+    )
 
     async def test() -> None:
         async with one_gateway(script=[None]) as (app, node, _):
--- a/tests/gateway/test_service.py
+++ b/tests/gateway/test_service.py
@@ -23,8 +23,8 @@
 from badgeryoke.gateway.config.errors import ConfigError
 from badgeryoke.gateway.config.model import Config
 from badgeryoke.gateway.resp import listener as front_module
-from badgeryoke.gateway.resp.client_connection import MOST_FAULTS
-from badgeryoke.gateway.resp.upstream_connection import RespUpstream, settle
+from badgeryoke.gateway.resp.client_connection import MAX_MALFORMED_COMMANDS
+from badgeryoke.gateway.resp.upstream_connection import RespUpstream, complete_attempt
 from tests.decisions.test_simulator_adapter import PARAMS
 from tests.support.counter import CounterCalls
 from tests.support.paths import ROOT
@@ -197,7 +197,7 @@
 def test_an_idle_connection_is_closed_for_a_new_one(monkeypatch: pytest.MonkeyPatch) -> None:
     """Clients that asked once and stayed held every place, and all that came after were turned away."""
     monkeypatch.setattr(parts, "RESP_CLIENTS_FRACTION", 3 / 1024)
-    monkeypatch.setattr(front_module, "GIVE_WAY_S", 0.0)
+    monkeypatch.setattr(front_module, "MIN_EVICTION_IDLE_S", 0.0)
 
     async def test() -> None:
         async with one_gateway(script=[None]) as (app, node, _):
@@ -231,7 +231,7 @@
                 assert await read_reply(reader) == b"value"
                 now = app.parts.loop.time()
                 for link in app.parts.resp_listener.links:
-                    link.idle_since = now - front_module.GIVE_WAY_S  # so much later
+                    link.idle_since_s = now - front_module.MIN_EVICTION_IDLE_S  # so much later
 
     play(test)
 
@@ -241,7 +241,7 @@
 ) -> None:
     """Clients hold a third of the descriptors at most: a crowd that stayed kept all others from coming."""
     monkeypatch.setattr(parts, "CROWDED_CLIENTS_FRACTION", 4 / 1024)
-    monkeypatch.setattr(front_module, "CROWD_S", 0.0)
+    monkeypatch.setattr(front_module, "MIN_IDLE_WHEN_CROWDED_S", 0.0)
 
     async def test() -> None:
         async with one_gateway() as (app, _, _):
@@ -260,7 +260,7 @@
 def test_a_client_that_sends_nothing_or_a_partial_command_is_closed(
     sent: bytes, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(front_module, "COMMAND_S", 0.3)
+    monkeypatch.setattr(front_module, "COMMAND_TIMEOUT_S", 0.3)
 
     async def test() -> None:
         async with one_gateway() as (app, _, _):
@@ -274,7 +274,7 @@
 def test_a_partial_command_does_not_affect_the_request_before_it(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(front_module, "COMMAND_S", 0.3)
+    monkeypatch.setattr(front_module, "COMMAND_TIMEOUT_S", 0.3)
 
     async def test() -> None:
         async with one_gateway(script=[None]) as (app, node, _):
@@ -282,7 +282,7 @@
             writer.write(query("whole") + resp("PING")[:6])
             await node.books.arrived.wait()
             [link] = app.parts.resp_listener.links
-            await until(lambda: link._ending)
+            await until(lambda: link._closing)
             node.writers[0].write(b"*1\r\n$4\r\nkept\r\n")
             assert await read_reply(reader) == b"kept"
             assert await reader.read() == b""
@@ -293,7 +293,7 @@
 def test_a_connection_whose_end_is_in_the_mailbox_is_not_swept(monkeypatch: pytest.MonkeyPatch) -> None:
     """Looking for unread bytes in it raised, and the newcomer's connection was left hanging."""
     monkeypatch.setattr(parts, "RESP_CLIENTS_FRACTION", 1 / 1024)
-    monkeypatch.setattr(front_module, "GIVE_WAY_S", 0.0)
+    monkeypatch.setattr(front_module, "MIN_EVICTION_IDLE_S", 0.0)
 
     async def test() -> None:
         async with one_gateway() as (app, _, _):
@@ -301,7 +301,7 @@
             await until(lambda: app.parts.resp_listener.links)
             [link] = app.parts.resp_listener.links
             link.abort()
-            assert not link.idle
+            assert not link.is_idle
             writer.close()
 
     play(test)
@@ -372,7 +372,7 @@
             reader, writer = await connect(app.lifecycle.address)
             writer.write(query(cls="lottery") * 500 + query())
             answers = (await reader.read()).split(b"\r\n")
-            assert len(answers) - 1 == MOST_FAULTS and all(a[:4] == b"-ERR" for a in answers[:-1])
+            assert len(answers) - 1 == MAX_MALFORMED_COMMANDS and all(a[:4] == b"-ERR" for a in answers[:-1])
             assert not node.commands
             writer.close()
 
@@ -421,7 +421,7 @@
 
 
 def test_a_client_that_does_not_read_its_responses_is_closed(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(front_module, "UNREAD_S", 0.3)
+    monkeypatch.setattr(front_module, "UNFETCHED_TIMEOUT_S", 0.3)
     value = b"*1\r\n" + resp("v" * 65_000)[4:]
 
     async def test() -> None:
@@ -435,7 +435,7 @@
                 [link] = app.parts.resp_listener.links
                 link._stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
                 client.sendall(query())
-                await until(lambda: link.unread_since < math.inf)
+                await until(lambda: link.unfetched_since_s < math.inf)
                 await until(lambda: not app.parts.resp_listener.links)
 
     play(test)
@@ -470,7 +470,7 @@
             os.write(raw.fileno(), GOOD)
             link = next(iter(app.parts.upstreams.by_number.values()))[1]
             assert isinstance(link, RespUpstream)
-            assert link._rested() is None
+            assert link._take_idle_connection() is None
             writer.write(query("r2"))
             assert await read_reply(reader) == b"value"
 
@@ -524,6 +524,6 @@
     asked = Request("r", "c", "p", 1, 1.0, 1.0, 1)
     execution = Attempt(asked, 0, 1, 0.0, 1.0, lambda _, end: ends.append(end))
     execution.written()
-    assert settle(execution, [b"good", use, load], ("latency_ms", "inflight"), 6.0).usable
+    assert complete_attempt(execution, [b"good", use, load], ("latency_ms", "inflight"), 6.0).usable
     [end] = ends
     assert (end.verdict, end.value, end.true_units, end.load_report) == (Verdict.OK, b"good", units, report)
