--- a/badgeryoke/gateway/diameter/upstream_request.py
+++ b/badgeryoke/gateway/diameter/upstream_request.py
@@ -24,6 +24,16 @@
     return f"{realm};{len(identifier)};{checksum};{identifier}", checksum
 
 
+def _subscription_avp(customer: int) -> Avp:
+    return codec.grouped_avp(
+        AvpCode.SUBSCRIPTION_ID,
+        [
+            codec.unsigned32_avp(AvpCode.SUBSCRIPTION_ID_TYPE, codec.END_USER_PRIVATE),
+            codec.text_avp(AvpCode.SUBSCRIPTION_ID_DATA, f"{customer:016x}"),
+        ],
+    )
+
+
 def encode_request(
     request: Request,
     identity: PeerIdentity,
@@ -46,13 +56,7 @@
         codec.unsigned32_avp(
             AvpCode.REQUESTED_ACTION, codec.CHECK_BALANCE if idempotent else codec.DIRECT_DEBITING
         ),
-        codec.grouped_avp(
-            AvpCode.SUBSCRIPTION_ID,
-            [
-                codec.unsigned32_avp(AvpCode.SUBSCRIPTION_ID_TYPE, codec.END_USER_PRIVATE),
-                codec.text_avp(AvpCode.SUBSCRIPTION_ID_DATA, f"{request.customer:016x}"),
-            ],
-        ),
+        _subscription_avp(request.customer),
         codec.units_avp(AvpCode.REQUESTED_SERVICE_UNIT, request.units),
     ]
     if service is not None:
