Name the testbed's checkers by the field's terms

Cause: the checkers spoke of a referee, books, tries and what is owed, which says nothing to an engineer who sees them for the first time.

Docstrings state what each measure is.

--- a/badgeryoke/testbed/checkers/__init__.py
+++ b/badgeryoke/testbed/checkers/__init__.py
@@ -1,1 +1,1 @@
-"""Checkers that judge a run by what they saw themselves."""
+"""Checkers that judge a run by what they observed themselves."""
--- a/badgeryoke/testbed/checkers/contract_ledger.py
+++ b/badgeryoke/testbed/checkers/contract_ledger.py
@@ -1,14 +1,15 @@
-"""The referee's book of one contract, in simulated time and with real processes alike.
-
-What is due is what one all-knowing bucket of the contract's rate and burst would serve of what is asked for,
-each request whole or not at all.  A second counts against the floor if at least the rate was asked for in it,
-and then as much is expected as that bucket serves in it, the rate at the most: a contract promises no more,
-and where requests come in clumps a bucket serves less.  What is served counts when it is served.  What is
-asked for at a gateway that is cut off from most of the fleet does not count there, since nothing is promised
-to it for longer than a lease; it counts as short.
-
-Units short are settled by busy times: from a request to a rest of `REST_MS` without one, what was due and not
-served. There, what is due is counted in units, of whatever requests.
+"""The expected ledger of one reservation contract, used in simulated time and with real processes alike.
+
+The ledger states what a single token bucket of the contract's rate and burst, seeing every request, would
+serve.  Two measures are taken from it:
+
+* The guaranteed rate, by second.  A second counts if at least the contract's rate was requested in it.  The
+  expectation is then what the bucket serves in that second with each request complete or not at all, the rate
+  at most; a contract promises no more, and a bucket serves less when requests arrive in bursts.  Units count
+  in the second in which they are served.  Requests at a gateway that is partitioned from the majority of the
+  cluster do not count, since nothing is guaranteed to it for longer than a lease; they count as short.
+* Units short, by busy period: from a request until `BUSY_PERIOD_GAP_MS` without one, the units that were due
+  and not served.  Here requests may be served in part.
 """
 
 from __future__ import annotations
@@ -17,30 +18,35 @@
 
 from badgeryoke.cluster.reservations.settlement import BUSY_PERIOD_GAP_MS
 
-EDGE = 1e-6
-LEFT_OUT_MS = 2000.0  # behind a loss, of the floor
-FEW = 0.05  # part of what was due, below which an error is not measured against what was short
+UNITS_TOLERANCE = 1e-6
+EXCLUDED_AFTER_LOSS_MS = 2000.0  # seconds that the guaranteed rate excludes after a gateway is lost
+MIN_ERROR_BASE_FRACTION = 0.05  # of the units due: the smallest base for a report's relative error
 
 
 @dataclass(slots=True)
-class Book:
-    """Times in ms, units.  `level`: of the bucket that serves requests whole; `units`: of the one that
-    does not."""
+class ExpectedLedger:
+    """Requests, expected and actual service of one contract.
+
+    Times are in ms.  `level` is the fill of the bucket that serves complete requests only, `units` that of
+    the bucket that also serves part of a request.
+    """
 
     rate: float
     burst: float
     level: float = 0.0
     units: float = 0.0
     at: float = 0.0
-    last: float = 0.0  # request
-    asked: dict[int, float] = field(default_factory=dict)  # by second
+    last: float = 0.0  # time of the latest request
+    asked: dict[int, float] = field(default_factory=dict)  # units requested, by second
     due: dict[int, float] = field(default_factory=dict)
     served: dict[int, float] = field(default_factory=dict)
-    times: list[list[float]] = field(default_factory=list)  # busy times: due, served
+    times: list[list[float]] = field(default_factory=list)  # busy periods: units due, units served
 
-    def ask(self, now: float, units: float, cut: bool = False) -> tuple[int, bool]:
-        """So much is asked for; `cut`: where the floor does not hold.  Gives what `serve` has to know of
-        it."""
+    def record_request(self, now: float, units: float, cut: bool = False) -> tuple[int, bool]:
+        """Record a request; `cut` marks one at a partitioned gateway, where no rate is guaranteed.
+
+        Returns the busy period and whether the request counts, as `record_served` needs them.
+        """
         if not self.times or now > self.last + BUSY_PERIOD_GAP_MS:
             self.times.append([0.0, 0.0])
         self.last = now
@@ -57,45 +63,49 @@
             return len(self.times) - 1, False
         second = int(now // 1000.0)
         self.asked[second] = self.asked.get(second, 0.0) + units
-        if self.level >= units - EDGE:
+        if self.level >= units - UNITS_TOLERANCE:
             self.level = max(self.level - units, 0.0)
             self.due[second] = self.due.get(second, 0.0) + units
         return len(self.times) - 1, True
 
-    def serve(self, now: float, units: float, asked: tuple[int, bool]) -> None:
-        """So much is served of what `ask` was told of."""
+    def record_served(self, now: float, units: float, asked: tuple[int, bool]) -> None:
+        """Record units served of a request; `asked` is what `record_request` returned for it."""
         time, counts = asked
         self.times[time][1] += units
         if counts:
             second = int(now // 1000.0)
             self.served[second] = self.served.get(second, 0.0) + units
 
-    def seconds(self, begin: float, end: float, losses: list[float]) -> dict[int, float]:
-        """For each second that counts, the share of what is expected that was served."""
+    def served_fraction_by_second(self, begin: float, end: float, losses: list[float]) -> dict[int, float]:
+        """The served fraction of the expected units, for each second that counts."""
         made: dict[int, float] = {}
         for second, asked in sorted(self.asked.items()):
             at = second * 1000.0
             expected = min(self.rate, self.due.get(second, 0.0))
             if (
                 asked >= self.rate
-                and expected > EDGE
+                and expected > UNITS_TOLERANCE
                 and begin <= at
                 and at + 1000.0 <= end
-                and not any(at - LEFT_OUT_MS < loss < at + 1000.0 for loss in losses)
+                and not any(at - EXCLUDED_AFTER_LOSS_MS < loss < at + 1000.0 for loss in losses)
             ):
                 made[second] = min(self.served.get(second, 0.0) / expected, 1.0)
         return made
 
-    def short(self) -> float:
-        """Units due and not served."""
+    def units_short(self) -> float:
+        """Units due and not served, over all busy periods."""
         return sum(max(due - served, 0.0) for due, served in self.times)
 
-    def error(self, told: float) -> float:
-        """Of what was told short, as a share of what was; of a twentieth of what was due where fewer were
-        short."""
-        return abs(told - self.short()) / max(self.short(), FEW * sum(due for due, _ in self.times), 1.0)
+    def report_error(self, told: float) -> float:
+        """The relative error of a reported number of short units.
+
+        The base is at least a twentieth of the units due, so that few short units do not inflate it.
+        """
+        return abs(told - self.units_short()) / max(
+            self.units_short(), MIN_ERROR_BASE_FRACTION * sum(due for due, _ in self.times), 1.0
+        )
 
 
-def least(found: list[dict[int, float]]) -> float | None:
-    """The worst second of all contracts."""
+def worst_second(found: list[dict[int, float]]) -> float | None:
+    """The smallest served fraction of any second of any contract; None where no second counts."""
     return min((share for one in found for share in one.values()), default=None)
--- a/badgeryoke/testbed/checkers/quota_checker.py
+++ b/badgeryoke/testbed/checkers/quota_checker.py
@@ -1,8 +1,9 @@
-"""The referee: what was really sent, kept by the scenario's plans and by nothing that a gateway says.
+"""The quota checker: recomputes what a run really forwarded, from the scenario's plans alone.
 
-It is told of each client's try, of each first attempt as it reaches a server, and of each final answer;
-from these it keeps, for every customer, the true quota's store, the true ceiling's, and what one all-
-knowing gateway would have sent.  Times in ms, on the referee's own clock.
+It observes each client request, each first attempt that reaches a server, and each final response, and trusts
+nothing that a gateway reports.  For every customer it maintains the token bucket of the true quota, that of
+the true ceiling, and that of an oracle: a single gateway that sees every request.  Times are in ms, on the
+checker's own clock.
 """
 
 from __future__ import annotations
@@ -12,11 +13,12 @@
 
 from badgeryoke.testbed.scenario.model import PlanText
 
-EDGE = 1e-6
+UNITS_TOLERANCE = 1e-6
+MAX_CEILING_EXCESS = 0.05  # fraction of a ceiling's depth that may be overdrawn
 
 
-class Store:
-    """A store of units that fills at a rate, up to its depth."""
+class TokenBucket:
+    """A token bucket of units that fills at a rate, up to its depth."""
 
     __slots__ = ("at", "depth", "level", "rate")
 
@@ -24,7 +26,7 @@
         self.rate, self.depth, self.level, self.at = rate / 1000.0, depth, depth, at
 
     def fill(self, now: float) -> float:
-        """Bring it up to a time; gives the level."""
+        """Fill the bucket up to a time and return its level."""
         if now > self.at:
             self.level = min(self.level + (now - self.at) * self.rate, self.depth)
             self.at = now
@@ -32,29 +34,29 @@
 
 
 @dataclass(slots=True)
-class Account:
-    """One customer's true books."""
+class CustomerLedger:
+    """The true token buckets and totals of one customer."""
 
     plan: PlanText
-    quota: Store
-    oracle: Store
-    ceiling: Store | None
+    quota: TokenBucket
+    oracle: TokenBucket
+    ceiling: TokenBucket | None
     sent: float = 0.0
     beyond: float = 0.0
-    lowest: float = 0.0  # of the ceiling's store, below 0
+    lowest: float = 0.0  # level of the ceiling's bucket; negative when overdrawn
 
 
 @dataclass(slots=True)
-class Sums:
-    """Units over a stretch of time."""
+class UnitTotals:
+    """Units requested, forwarded, forwarded beyond the quota, and allowed by the oracle, in one period."""
 
     sent: float = 0.0
     beyond: float = 0.0
     oracle: float = 0.0
     asked: float = 0.0
 
-    def add(self, other: Sums) -> None:
-        """Take in another stretch."""
+    def add(self, other: UnitTotals) -> None:
+        """Add the totals of another period."""
         self.sent += other.sent
         self.beyond += other.beyond
         self.oracle += other.oracle
@@ -63,10 +65,10 @@
 
 @dataclass(slots=True)
 class Verdict:
-    """The referee's figures; ratios over the trouble, times in ms."""
+    """The checker's figures; ratios over the period of injected faults, times in ms."""
 
     ceiling_broken: bool
-    ceiling_excess: float  # the most by which a ceiling's store was overdrawn, in parts of its depth
+    ceiling_excess: float  # the largest overdraft of a ceiling's bucket, as a fraction of its depth
     beyond_share: float
     sent_of_allowed: float
     plans: dict[str, dict[str, float]]
@@ -76,8 +78,8 @@
     answers: dict[str, int] = field(default_factory=dict)
 
 
-class Referee:
-    """Books for one run."""
+class QuotaChecker:
+    """Quota, ceiling and response accounting of one run."""
 
     def __init__(
         self,
@@ -87,57 +89,63 @@
         step_ms: float = 250.0,
     ) -> None:
         self._plans = {plan.name: plan for plan in plans}
-        self._trouble, self._started, self.step_ms = trouble, started, step_ms
-        self._accounts: dict[int, Account] = {}
-        self._owed: dict[str, tuple[str, float]] = {}
-        self._sums: dict[str, Sums] = {plan.name: Sums() for plan in plans}
-        self.line: dict[int, dict[int, Sums]] = {}  # by step and gateway
+        self._fault_period, self._started, self.step_ms = trouble, started, step_ms
+        self._accounts: dict[int, CustomerLedger] = {}
+        self._unanswered: dict[str, tuple[str, float]] = {}
+        self._sums: dict[str, UnitTotals] = {plan.name: UnitTotals() for plan in plans}
+        self.totals_by_step: dict[int, dict[int, UnitTotals]] = {}  # by step and gateway
         self._answers: Counter[str] = Counter()
-        self._twice = self._tries = 0
-        self._firsts: set[str] = set()
+        self._duplicate_responses = self._requests = 0
+        self._forwarded_ids: set[str] = set()
 
-    def _account(self, customer: int, plan: str) -> Account:
+    def _account(self, customer: int, plan: str) -> CustomerLedger:
         found = self._accounts.get(customer)
         if found is None:
             text = self._plans[plan]
             ceiling = (
-                Store(text.ceiling_rate, text.ceiling_burst, self._started) if text.ceiling_rate > 0 else None
+                TokenBucket(text.ceiling_rate, text.ceiling_burst, self._started)
+                if text.ceiling_rate > 0
+                else None
             )
-            found = self._accounts[customer] = Account(
+            found = self._accounts[customer] = CustomerLedger(
                 text,
-                Store(text.rate, text.burst, self._started),
-                Store(text.rate, text.burst, self._started),
+                TokenBucket(text.rate, text.burst, self._started),
+                TokenBucket(text.rate, text.burst, self._started),
                 ceiling,
             )
         return found
 
-    def _book(self, now: float, plan: str, gateway: int) -> list[Sums]:
-        step = self.line.setdefault(int((now - self._started) // self.step_ms), {})
-        sums = [step.setdefault(gateway, Sums())]
-        if self._trouble[0] <= now - self._started <= self._trouble[1]:
+    def _totals_at(self, now: float, plan: str, gateway: int) -> list[UnitTotals]:
+        step = self.totals_by_step.setdefault(int((now - self._started) // self.step_ms), {})
+        sums = [step.setdefault(gateway, UnitTotals())]
+        if self._fault_period[0] <= now - self._started <= self._fault_period[1]:
             sums.append(self._sums[plan])
         return sums
 
-    def tried(self, now: float, rid: str, customer: int, plan: str, units: float, gateway: int) -> None:
-        """A client has asked.  The all-knowing gateway decides at once."""
-        self._tries += 1
-        self._owed[rid] = plan, now
+    def request_sent(
+        self, now: float, rid: str, customer: int, plan: str, units: float, gateway: int
+    ) -> None:
+        """A client has sent a request; the oracle decides on it at once."""
+        self._requests += 1
+        self._unanswered[rid] = plan, now
         account = self._account(customer, plan)
-        fits = account.oracle.fill(now) >= units - EDGE
+        fits = account.oracle.fill(now) >= units - UNITS_TOLERANCE
         if fits:
             account.oracle.level -= units
-        for sums in self._book(now, plan, gateway):
+        for sums in self._totals_at(now, plan, gateway):
             sums.asked += units
             sums.oracle += units if fits else 0.0
 
-    def arrived(self, now: float, rid: str, customer: int, plan: str, units: float, gateway: int) -> None:
-        """An attempt has reached a server whole; only a try's first takes units."""
-        if rid in self._firsts:
+    def attempt_arrived(
+        self, now: float, rid: str, customer: int, plan: str, units: float, gateway: int
+    ) -> None:
+        """A complete attempt has reached a server; only the first of a request uses units."""
+        if rid in self._forwarded_ids:
             return
-        self._firsts.add(rid)
+        self._forwarded_ids.add(rid)
         account = self._account(customer, plan)
         account.sent += units
-        fits = account.quota.fill(now) >= units - EDGE
+        fits = account.quota.fill(now) >= units - UNITS_TOLERANCE
         if fits:
             account.quota.level -= units
         else:
@@ -146,23 +154,23 @@
             account.ceiling.fill(now)
             account.ceiling.level -= units
             account.lowest = min(account.lowest, account.ceiling.level)
-        for sums in self._book(now, plan, gateway):
+        for sums in self._totals_at(now, plan, gateway):
             sums.sent += units
             sums.beyond += 0.0 if fits else units
 
-    def answered(self, now: float, rid: str, kind: str) -> None:
-        """A final answer came: served, refused or failed."""
-        if self._owed.pop(rid, None) is None:
-            self._twice += 1
+    def response_received(self, now: float, rid: str, kind: str) -> None:
+        """A final response came: served, refused or failed."""
+        if self._unanswered.pop(rid, None) is None:
+            self._duplicate_responses += 1
         else:
             self._answers[kind] += 1
 
-    def lost(self, rid: str) -> None:
-        """Its gateway died, or its client left: nobody owes an answer."""
-        self._owed.pop(rid, None)
+    def request_abandoned(self, rid: str) -> None:
+        """The gateway was lost or the client disconnected, so no response is due."""
+        self._unanswered.pop(rid, None)
 
     def verdict(self) -> Verdict:
-        """The figures.  A ceiling counts as broken beyond a twentieth of its depth."""
+        """The figures of the run; a ceiling counts as broken beyond a twentieth of its depth."""
         excess = max(
             (
                 -one.lowest / one.plan.ceiling_burst
@@ -171,7 +179,7 @@
             ),
             default=0.0,
         )
-        total = Sums()
+        total = UnitTotals()
         plans = {}
         for name, sums in self._sums.items():
             total.add(sums)
@@ -181,14 +189,14 @@
                 "sent_of_allowed": _share(sums.sent, sums.oracle),
             }
         return Verdict(
-            excess > 0.05,
+            excess > MAX_CEILING_EXCESS,
             round(max(0.0, excess), 5),
             _share(total.beyond, total.sent),
             _share(total.sent, total.oracle),
             plans,
-            len(self._owed),
-            self._twice,
-            self._tries,
+            len(self._unanswered),
+            self._duplicate_responses,
+            self._requests,
             dict(sorted(self._answers.items())),
         )
 
--- a/badgeryoke/testbed/cluster_simulation/gateway.py
+++ b/badgeryoke/testbed/cluster_simulation/gateway.py
@@ -27,7 +27,7 @@
 from badgeryoke.cluster.rolling_restart.gateway_agent import DesiredState, RollingRestartAgent
 from badgeryoke.cluster.rolling_restart.minimum_duration import minimum_duration_ms
 from badgeryoke.cluster.state_machine_part import FLEET, ApplyResult
-from badgeryoke.testbed.checkers.contract_ledger import LEFT_OUT_MS, Book, least
+from badgeryoke.testbed.checkers.contract_ledger import EXCLUDED_AFTER_LOSS_MS, ExpectedLedger, worst_second
 from badgeryoke.testbed.cluster_simulation.clock import UNIX_MS
 from badgeryoke.testbed.scenario.model import ContractText, RollText
 
@@ -84,7 +84,7 @@
     """A contract as the referee follows it.  Times in ms of the world."""
 
     text: ContractText
-    book: Book
+    book: ExpectedLedger
     customers: tuple[int, ...]
     tenant: str
     doors: tuple[int, ...]
@@ -292,7 +292,7 @@
         doors = tuple(self.draw.sample(range(self.world.plan.members), count))
         return Deal(
             text,
-            Book(text.rate, text.burst),
+            ExpectedLedger(text.rate, text.burst),
             tuple(range(first, last + 1)),
             f"t{first}",
             doors,
@@ -353,7 +353,7 @@
         shift = int((true + 977.0 * text.customers[0]) // deal.shift_ms)
         door = deal.doors[shift % len(deal.doors)] if draw.random() < 0.73 else draw.choice(deal.doors)
         name = self._door(door)
-        token = deal, units, deal.book.ask(true, units, name is not None and self._cut(name))
+        token = deal, units, deal.book.record_request(true, units, name is not None and self._cut(name))
         if name is None:
             return
         machine, side = self.world.machines[name], self.sides[name]
@@ -388,7 +388,7 @@
 
     def _served(self, token: tuple[Deal, float, tuple[int, bool]]) -> None:
         deal, units, asked = token
-        deal.book.serve(self._calendar.now, units, asked)
+        deal.book.record_served(self._calendar.now, units, asked)
         # What all together draw, from the whole rate and burst: the leases' very promise.
         true, text = self._calendar.now, deal.text
         deal.level = min(deal.level + text.rate * (true - deal.level_at) / 1000.0, text.burst) - units
@@ -428,7 +428,7 @@
                 deal.offered += deal.text.rate
 
     def _near(self, true: float) -> bool:
-        return any(loss <= true <= loss + LEFT_OUT_MS for loss in self.losses)
+        return any(loss <= true <= loss + EXCLUDED_AFTER_LOSS_MS for loss in self.losses)
 
     def finish(self) -> None:
         """Ask what is told of units short."""
@@ -444,7 +444,13 @@
 
     def contract_floor(self) -> float | None:
         """See badgeryoke.testbed.checkers.contract_ledger."""
-        return least([deal.book.seconds(0.0, math.inf, self.losses) for deal in self.deals if deal.admitted])
+        return worst_second(
+            [
+                deal.book.served_fraction_by_second(0.0, math.inf, self.losses)
+                for deal in self.deals
+                if deal.admitted
+            ]
+        )
 
     def contract_over(self) -> float | None:
         """The most by which leases passed a contract."""
@@ -454,7 +460,7 @@
         """Told against true units short."""
         return max(
             (
-                deal.book.error(self.told_short.get(deal.text.name, 0.0))
+                deal.book.report_error(self.told_short.get(deal.text.name, 0.0))
                 for deal in self.deals
                 if deal.admitted
             ),
--- a/badgeryoke/testbed/cluster_simulation/world.py
+++ b/badgeryoke/testbed/cluster_simulation/world.py
@@ -48,7 +48,7 @@
 from badgeryoke.cluster.placement.rendezvous import group_for_key
 from badgeryoke.cluster.state_machine_part import ApplyResult, Command
 from badgeryoke.cluster.timings import Timings
-from badgeryoke.testbed.checkers.history_checker import Finding, Op, Verdict, judge
+from badgeryoke.testbed.checkers.history_checker import Finding, Operation, Verdict, check_history
 from badgeryoke.testbed.cluster_simulation.clock import Clock
 from badgeryoke.testbed.cluster_simulation.disk import Disk, Kept
 from badgeryoke.testbed.cluster_simulation.fault_plan import Plan
@@ -141,10 +141,10 @@
             )
         self.findings: list[Finding] = []
         self.over = False
-        self.ops: list[Op] = []
+        self.ops: list[Operation] = []
         self.says: dict[str, int] = {}
         self.calls = 0
-        self._open: dict[str, dict[str, Op]] = {}  # calls under way for each key, by id
+        self._open: dict[str, dict[str, Operation]] = {}  # calls under way for each key, by id
         self._leaders: dict[tuple[str, int], str] = {}
         self._votes: dict[tuple[str, str, int], str] = {}
         self.most_leaders = 1
@@ -596,14 +596,14 @@
             return
         number = len(self.ops) + 1
         read = draw.random() < 0.25
-        op = Op(
+        op = Operation(
             f"n{draw.randrange(plan.keys)}", f"o{number}", None if read else f"v{number}", self.calendar.now
         )
         self.ops.append(op)
         self._open.setdefault(op.key, {})[op.id] = op
         self._try(op, draw.choice(up), 1, False)
 
-    def _try(self, op: Op, name: str, tries: int, unknown: bool) -> None:
+    def _try(self, op: Operation, name: str, tries: int, unknown: bool) -> None:
         command: Command = (
             ReadValue(id=f"{op.id}.{tries}", name=op.key)
             if op.value is None
@@ -612,21 +612,21 @@
         op.through = name
         self.call(name, command, lambda result: self._answered(op, name, tries, unknown, result))
 
-    def _answered(self, op: Op, name: str, tries: int, unknown: bool, result: Any) -> None:
+    def _answered(self, op: Operation, name: str, tries: int, unknown: bool, result: Any) -> None:
         if isinstance(result, ApplyResult) and result.error is None:
-            if op.fate == "answered":  # a repeat: told as the first time
+            if op.outcome == "answered":  # a repeat: told as the first time
                 if result.value != op.result:
                     self.found(
                         "twice", f"{op.key}: {op.id} was answered {op.result!r}, then {result.value!r}"
                     )
                 return
-            op.fate, op.result, op.returned = "answered", result.value, self.calendar.now
+            op.outcome, op.result, op.returned = "answered", result.value, self.calendar.now
             self._silent[op.key] = 0.0
             self._end(op)
             if op.value is not None and self.draw.random() < 0.1:
                 self.calendar.at(self.calendar.now + self.draw.uniform(0.0, 1500.0), self._again, op, tries)
             return
-        if op.fate == "answered":
+        if op.outcome == "answered":
             return
         error = result.error if isinstance(result, ApplyResult) else result
         unknown = unknown or not isinstance(error, ClusterError) or error.code == "unknown-outcome"
@@ -641,15 +641,15 @@
                 unknown,
             )
             return
-        op.fate = "unknown" if unknown else "refused"
+        op.outcome = "unknown" if unknown else "refused"
         self._end(op)
 
-    def _again(self, op: Op, tries: int) -> None:
+    def _again(self, op: Operation, tries: int) -> None:
         up = [name for name, machine in self.machines.items() if machine.node is not None]
         if up:
             self._try(op, self.draw.choice(up), tries + MOST_TRIES, True)
 
-    def _end(self, op: Op) -> None:
+    def _end(self, op: Operation) -> None:
         del self._open[op.key][op.id]
         if not self._open[op.key]:
             self._silent[op.key] = 0.0
@@ -683,7 +683,7 @@
             self.found("not-whole-again", f"{SETTLE_MS:.0f} ms after all was mended: {self._state()}")
         self.gates.finish()
         self._read_back()
-        verdict = judge(self.ops)
+        verdict = check_history(self.ops)
         self.findings += verdict.findings
         self._compare_logs()
         return self._figures(verdict)
@@ -714,17 +714,17 @@
 
     def _read_back(self) -> None:
         """Each key, through each member; a value that is told is judged with the history."""
-        left: list[Op] = []
+        left: list[Operation] = []
         for key in sorted({op.key for op in self.ops}):
             for name in self.machines:
-                op = Op(key, f"end/{key}/{name}", None, self.calendar.now)
+                op = Operation(key, f"end/{key}/{name}", None, self.calendar.now)
                 self.ops.append(op)
                 left.append(op)
                 self._open.setdefault(key, {})[op.id] = op
                 self._try(op, name, 1, False)
         self._until(self.calendar.now + 15_000.0, lambda: not any(self._open.values()))
         for op in left:
-            if op.fate != "answered":
+            if op.outcome != "answered":
                 self.unreadable += 1
                 if not self.plan.wild and not self.over:
                     self.found("unreadable", f"{op.key} through {op.through}")
--- a/badgeryoke/testbed/emulator/cluster.py
+++ b/badgeryoke/testbed/emulator/cluster.py
@@ -19,8 +19,8 @@
 from badgeryoke.cluster.placement.rendezvous import group_for_key
 from badgeryoke.cluster.rolling_restart.minimum_duration import minimum_duration_ms
 from badgeryoke.cluster.state_machine_part import FLEET
-from badgeryoke.testbed.checkers.contract_ledger import FEW, least
-from badgeryoke.testbed.checkers.contract_ledger import Book as ContractBook
+from badgeryoke.testbed.checkers.contract_ledger import MIN_ERROR_BASE_FRACTION, worst_second
+from badgeryoke.testbed.checkers.contract_ledger import ExpectedLedger as ContractBook
 from badgeryoke.testbed.emulator.faulty_links import Links
 from badgeryoke.testbed.emulator.key_value_load import (
     AGAIN,
@@ -337,11 +337,11 @@
         if text is None or not text.from_ms <= now < text.to_ms:
             return lambda kind: None
         book = self._books[text.name]
-        token = book.ask(now, units, self.cut(me))
+        token = book.record_request(now, units, self.cut(me))
 
         def ended(kind: str) -> None:
             if kind == "served":
-                book.serve(self._clock(), units, token)
+                book.record_served(self._clock(), units, token)
 
         return ended
 
@@ -355,7 +355,7 @@
         """See badgeryoke.testbed.checkers.contract_ledger; of contracts that were admitted."""
         return max(
             (
-                book.error(self._told_short[name])
+                book.report_error(self._told_short[name])
                 for name, book in self._books.items()
                 if name in self._told_short
             ),
@@ -364,13 +364,13 @@
 
     def floor(self) -> float | None:
         """See badgeryoke.testbed.checkers.contract_ledger; of contracts that were admitted."""
-        return least([self._seconds(text.name) for text in self.scenario.contracts])
+        return worst_second([self._seconds(text.name) for text in self.scenario.contracts])
 
     def _seconds(self, name: str) -> dict[int, float]:
         text = next(text for text in self.scenario.contracts if text.name == name)
         if not self.contracts.get(name, {}).get("admitted"):
             return {}
-        return self._books[name].seconds(text.from_ms, text.to_ms, self._losses)
+        return self._books[name].served_fraction_by_second(text.from_ms, text.to_ms, self._losses)
 
     async def _watch(self) -> None:
         while True:
@@ -508,7 +508,10 @@
                     due = sum(due for due, _ in book.times)
                     lacked = one["short"].get("no lease", 0.0)
                     self.contracts[name].update(
-                        lacked_error=round(abs(lacked - due + drawn) / max(due - drawn, FEW * due, 1.0), 4),
+                        lacked_error=round(
+                            abs(lacked - due + drawn) / max(due - drawn, MIN_ERROR_BASE_FRACTION * due, 1.0),
+                            4,
+                        ),
                         state=one["state"],
                         worst=dict(sorted(self._seconds(name).items(), key=lambda found: found[1])[:5]),
                         lease_ms={
@@ -516,7 +519,7 @@
                         },
                         told_short={cause: round(units, 2) for cause, units in one["short"].items()},
                         drawn=round(drawn, 1),
-                        short=round(book.short(), 2),
+                        short=round(book.units_short(), 2),
                         due=round(due, 1),
                         served=round(sum(served for _, served in book.times), 1),
                     )
--- a/badgeryoke/testbed/emulator/run.py
+++ b/badgeryoke/testbed/emulator/run.py
@@ -14,7 +14,7 @@
 
 from hdrh.histogram import HdrHistogram
 
-from badgeryoke.testbed.checkers.quota_checker import Referee
+from badgeryoke.testbed.checkers.quota_checker import QuotaChecker
 from badgeryoke.testbed.customers import Customer, draw_customers
 from badgeryoke.testbed.emulator.clients import Door
 from badgeryoke.testbed.emulator.cluster import ROLLED_S, FleetStage
@@ -56,7 +56,7 @@
         self._rng = random.Random(f"{scenario.name}/{seed}")
         self._temporary = tempfile.TemporaryDirectory() if folder is None else None
         self.folder = folder or Path(self._temporary.name if self._temporary else ".")
-        self.referee = Referee(scenario.plans, scenario.trouble)
+        self.referee = QuotaChecker(scenario.plans, scenario.trouble)
         self.fleet: FleetStage | None = None
         self._felled: set[int] = set()  # gateways that the laboratory has ended and not started again
         self._tasks: list[asyncio.Task[None]] = []
@@ -290,7 +290,9 @@
             gc.collect(0)
             step = int((self.now - 1000.0) // self.referee.step_ms)
             rows = [
-                sums for index in range(step, step + 4) for sums in self.referee.line.get(index, {}).values()
+                sums
+                for index in range(step, step + 4)
+                for sums in self.referee.totals_by_step.get(index, {}).values()
             ]
             self._show(
                 {
@@ -347,12 +349,12 @@
             self.counts[kind] += 1
             ended(kind)
             if kind == "lost":
-                self.referee.lost(rid)
+                self.referee.request_abandoned(rid)
                 if self.fleet is not None and me not in self._felled:
                     self.fleet.roll_lost += 1
                     self._event("lost", gateway=me + 1, asked_at=round(sent, 1), up=self._doors[me].up)
                 return
-            self.referee.answered(self.now, rid, kind)
+            self.referee.response_received(self.now, rid, kind)
             self.latency[kind].record_value(max(int((self.now - sent) * 1000.0), 1))
 
         ended = (
@@ -360,14 +362,14 @@
             if self.fleet is not None
             else lambda kind: None
         )
-        self.referee.tried(sent, rid, customer.number, plan, units, me)
+        self.referee.request_sent(sent, rid, customer.number, plan, units, me)
         if not self._doors[me].ask(
             words(b"SVC.QUERY", b"%016x" % customer.number, rid.encode(), fields.encode()), done
         ):
             done("lost")
 
     def _arrived(self, customer: int, rid: str, fields: dict[str, str], gateway: int) -> None:
-        self.referee.arrived(self.now, rid, customer, fields["t"], float(fields["units"]), gateway)
+        self.referee.attempt_arrived(self.now, rid, customer, fields["t"], float(fields["units"]), gateway)
 
     def _said(self, me: int, line: str) -> None:
         """A line of a gateway's log."""
--- a/badgeryoke/testbed/report/result.py
+++ b/badgeryoke/testbed/report/result.py
@@ -8,7 +8,7 @@
 from badgeryoke.decisions import interface as api
 from badgeryoke.decisions.counter_health.detector import CounterState
 from badgeryoke.decisions.counter_health.error_bound import CEILING_ERROR, stated
-from badgeryoke.testbed.checkers.quota_checker import Referee, Verdict
+from badgeryoke.testbed.checkers.quota_checker import QuotaChecker, Verdict
 from badgeryoke.testbed.scenario.model import Scenario
 
 DEADLINE_MS, SAFE_AIM_MS = 2000.0, 400.0
@@ -110,7 +110,7 @@
 def conclude(
     scenario: Scenario,
     seed: int,
-    referee: Referee,
+    referee: QuotaChecker,
     beliefs: list[Shown],
     calls: int,
     watch_calls_a_second: float,
@@ -131,7 +131,7 @@
             "oracle": sums.oracle,
             "asked": sums.asked,
         }
-        for step, row in sorted(referee.line.items())
+        for step, row in sorted(referee.totals_by_step.items())
         for gateway, sums in sorted(row.items())
     ]
     error = stated(scenario_plans(scenario), scenario.gateways, (end - start) / 1000.0)
--- a/badgeryoke/testbed/simulation/world.py
+++ b/badgeryoke/testbed/simulation/world.py
@@ -15,7 +15,7 @@
 from badgeryoke.decisions import interface as api
 from badgeryoke.decisions.counter_health.monitored_policy import MonitoredEngine
 from badgeryoke.decisions.policy.engine import DecisionEngine
-from badgeryoke.testbed.checkers.quota_checker import Referee
+from badgeryoke.testbed.checkers.quota_checker import QuotaChecker
 from badgeryoke.testbed.customers import Customer, draw_customers
 from badgeryoke.testbed.report.result import DEADLINE_MS, Result, Shown, conclude, settings_of
 from badgeryoke.testbed.scenario.model import Fault, Scenario
@@ -36,7 +36,7 @@
         self._made = 0
         self.now = 0.0
         self.counter = CounterModel(scenario, rng)
-        self.referee = Referee(scenario.plans, scenario.trouble)
+        self.referee = QuotaChecker(scenario.plans, scenario.trouble)
         half = scenario.clock_skew_ms / 2
         self._skew = [rng.uniform(-half, half) for _ in range(scenario.gateways)]
         self._gateways: list[DecisionEngine | MonitoredEngine | None] = [None] * scenario.gateways
@@ -104,7 +104,7 @@
         for rid, (owner, *_) in list(self._queries.items()):
             if owner == gateway:
                 del self._queries[rid]
-                self.referee.lost(rid)
+                self.referee.request_abandoned(rid)
 
     def _tell(self, gateway: int, life: int, event: api.Event) -> None:
         made = self._gateways[gateway]
@@ -137,7 +137,7 @@
             share = found[1].crowd.retries
             if share and self._rng.random() < share:
                 self._at(self.now + wait_ms, self._ask, found[1], True)
-        self.referee.answered(self.now, rid, kind)
+        self.referee.response_received(self.now, rid, kind)
 
     # Clients and servers --------------------------------------------------------------------------------
 
@@ -162,7 +162,7 @@
         self._rids += 1
         rid = str(self._rids)
         plan = customer.crowd.plan
-        self.referee.tried(self.now, rid, customer.number, plan, units, gateway)
+        self.referee.request_sent(self.now, rid, customer.number, plan, units, gateway)
         self._queries[rid] = gateway, customer, units, again
         self._at(
             self.now + rng.uniform(*HOP_MS),
@@ -185,7 +185,7 @@
     def _arrive(self, gateway: int, life: int, request: api.Request) -> None:
         if life != self._lives[gateway]:
             self._queries.pop(request.id, None)
-            self.referee.lost(request.id)
+            self.referee.request_abandoned(request.id)
         self._tell(gateway, life, request)
 
     def _send(self, gateway: int, life: int, rid: str, server: int) -> None:
@@ -199,7 +199,7 @@
         self._at(back, self._served, gateway, life, rid, server, sent, units, customer)
 
     def _reach(self, rid: str, customer: Customer, units: int, gateway: int) -> None:
-        self.referee.arrived(self.now, rid, customer.number, customer.crowd.plan, units, gateway)
+        self.referee.attempt_arrived(self.now, rid, customer.number, customer.crowd.plan, units, gateway)
 
     def _served(
         self, gateway: int, life: int, rid: str, server: int, sent: float, units: int, customer: Customer
--- a/tests/decisions/test_behaviour_digests.py
+++ b/tests/decisions/test_behaviour_digests.py
@@ -29,7 +29,7 @@
     room_of,
 )
 from badgeryoke.decisions.plan_schedule.schedule import PlanSchedule, ScheduleError
-from badgeryoke.testbed.checkers.quota_checker import Referee
+from badgeryoke.testbed.checkers.quota_checker import QuotaChecker
 from badgeryoke.testbed.cluster_simulation.generated_plans import play_scenario
 from badgeryoke.testbed.scenario.model import Scenario, load, shipped
 from badgeryoke.testbed.simulation.counter import Answer, CounterModel
@@ -358,7 +358,7 @@
     return value
 
 
-class RecordingReferee(Referee):
+class RecordingReferee(QuotaChecker):
     """A referee that also puts what it is told into a digest."""
 
     def __init__(self, text: Scenario, digest: Digest) -> None:
@@ -368,17 +368,17 @@
     def tried(self, now: float, rid: str, customer: int, plan: str, units: float, gateway: int) -> None:
         """A client's try."""
         self.digest.add((0, now, rid, customer, units, gateway))
-        super().tried(now, rid, customer, plan, units, gateway)
+        super().request_sent(now, rid, customer, plan, units, gateway)
 
     def arrived(self, now: float, rid: str, customer: int, plan: str, units: float, gateway: int) -> None:
         """A send, as it comes to its server."""
         self.digest.add((1, now, rid, customer, units, gateway))
-        super().arrived(now, rid, customer, plan, units, gateway)
+        super().attempt_arrived(now, rid, customer, plan, units, gateway)
 
     def answered(self, now: float, rid: str, kind: str) -> None:
         """A final answer."""
         self.digest.add((2, now, rid, self.kinds.setdefault(kind, len(self.kinds))))
-        super().answered(now, rid, kind)
+        super().response_received(now, rid, kind)
 
 
 class RecordingCounter(CounterModel):
--- a/tests/testbed/test_cluster_simulation.py
+++ b/tests/testbed/test_cluster_simulation.py
@@ -20,7 +20,7 @@
     StorageFailure,
 )
 from badgeryoke.cluster.messages import GroupConfiguration, LogEntry
-from badgeryoke.testbed.checkers.history_checker import Op, judge, linear
+from badgeryoke.testbed.checkers.history_checker import Operation, check_history, is_linearizable
 from badgeryoke.testbed.cluster_simulation.clock import Clock
 from badgeryoke.testbed.cluster_simulation.disk import Disk
 from badgeryoke.testbed.cluster_simulation.fault_plan import KINDS, Plan, draw
@@ -31,19 +31,19 @@
 
 def put(
     key: str, number: int, invoked: float, returned: float, before: str | None, fate: str = "answered"
-) -> Op:
-    return Op(key, f"o{number}", f"v{number}", invoked, returned, fate, before)
+) -> Operation:
+    return Operation(key, f"o{number}", f"v{number}", invoked, returned, fate, before)
 
 
-def look(key: str, invoked: float, returned: float, found: str | None) -> Op:
-    return Op(key, f"r{invoked}", None, invoked, returned, "answered", found)
+def look(key: str, invoked: float, returned: float, found: str | None) -> Operation:
+    return Operation(key, f"r{invoked}", None, invoked, returned, "answered", found)
 
 
 GOOD = [put("a", 1, 0, 10, None), put("a", 2, 5, 20, "v1"), look("a", 15, 18, "v1"), look("a", 30, 31, "v2")]
 
 
 def test_a_good_history_is_linear_and_nothing_is_found() -> None:
-    verdict = judge(GOOD)
+    verdict = check_history(GOOD)
     assert (verdict.acknowledged, verdict.lost, verdict.twice, verdict.findings) == (2, 0, 0, [])
 
 
@@ -76,15 +76,15 @@
         ("refused-but-taken", [put("a", 1, 0, 10, None, "refused"), look("a", 20, 21, "v1")]),
     ],
 )
-def test_a_wrong_history_is_found_by_its_name(name: str, ops: list[Op]) -> None:
-    assert name in [finding.name for finding in judge(ops).findings]
+def test_a_wrong_history_is_found_by_its_name(name: str, ops: list[Operation]) -> None:
+    assert name in [finding.name for finding in check_history(ops).findings]
 
 
 def test_an_unknown_outcome_may_be_either_or_come_late() -> None:
     late = put("a", 1, 0, math.inf, None, "unknown")
-    assert linear([late, look("a", 50, 51, None), look("a", 60, 61, "v1")])
-    assert linear([late, look("a", 50, 51, None)])
-    assert not linear([late, look("a", 50, 51, "v1"), look("a", 60, 61, None)])
+    assert is_linearizable([late, look("a", 50, 51, None), look("a", 60, 61, "v1")])
+    assert is_linearizable([late, look("a", 50, 51, None)])
+    assert not is_linearizable([late, look("a", 50, 51, "v1"), look("a", 60, 61, None)])
 
 
 def test_links_keep_order_until_a_reset_and_a_cut_loses_one_way() -> None:
--- a/tests/testbed/test_emulator_cluster.py
+++ b/tests/testbed/test_emulator_cluster.py
@@ -310,7 +310,7 @@
     for other in range(1, 5):
         fleet.links.ways[0, other].cut = True
     fleet.asked(7, 2500.0, 4.0, 0)("refused")  # where it cannot be served: short, and no less of a floor
-    assert fleet.floor() == 0.5 and fleet._books["c"].short() > 3.9
+    assert fleet.floor() == 0.5 and fleet._books["c"].units_short() > 3.9
 
 
 # Real processes -----------------------------------------------------------------------------------------
--- a/tests/testbed/test_scenarios.py
+++ b/tests/testbed/test_scenarios.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from badgeryoke.testbed.checkers.quota_checker import Referee
+from badgeryoke.testbed.checkers.quota_checker import QuotaChecker
 from badgeryoke.testbed.commands import resize, summary
 from badgeryoke.testbed.emulator.clients import Door
 from badgeryoke.testbed.emulator.resp import _value
@@ -72,14 +72,14 @@
 
 def test_the_referees_books() -> None:
     """Worked by hand: burst 4, rate 1/s, ceiling burst 5 and 2/s."""
-    referee = Referee((PlanText("p", 1.0, 4.0, 2.0, 5.0),), (0.0, 10_000.0))
+    referee = QuotaChecker((PlanText("p", 1.0, 4.0, 2.0, 5.0),), (0.0, 10_000.0))
     for number, (at, units) in enumerate([(0.0, 3), (0.0, 2), (1000.0, 2), (1000.0, 3)]):
-        referee.tried(at, str(number), 1, "p", units, 0)
-        referee.arrived(at, str(number), 1, "p", units, 0)
-        referee.arrived(at, str(number), 1, "p", units, 1)  # a further attempt takes nothing
-        referee.answered(at, str(number), "served")
-    referee.answered(1000.0, "0", "served")
-    referee.tried(1000.0, "x", 1, "p", 1.0, 0)
+        referee.request_sent(at, str(number), 1, "p", units, 0)
+        referee.attempt_arrived(at, str(number), 1, "p", units, 0)
+        referee.attempt_arrived(at, str(number), 1, "p", units, 1)  # a further attempt takes nothing
+        referee.response_received(at, str(number), "served")
+    referee.response_received(1000.0, "0", "served")
+    referee.request_sent(1000.0, "x", 1, "p", 1.0, 0)
     verdict = referee.verdict()
     assert verdict.beyond_share == 0.5 and verdict.sent_of_allowed == 2.0
     assert verdict.ceiling_excess == pytest.approx(3 / 5) and verdict.ceiling_broken
