Find the transitions that time a restart by the shutdown's own texts

Cause: the emulator timed each restart by phrases in the gateway's log. One of them was reworded ("has had time to turn away" became "has had time to notice"), so no restart was counted any more, and test_three_gateways_roll_without_losing_a_query_or_passing_a_servers_limit failed with 0 restarts of 3.

Change: the phrases are built from ShutdownEvent and ShutdownState, so they follow any later rewording.

--- a/badgeryoke/testbed/emulator/cluster.py
+++ b/badgeryoke/testbed/emulator/cluster.py
@@ -19,8 +19,8 @@
 from badgeryoke.cluster.placement.rendezvous import group_for_key
 from badgeryoke.cluster.rolling_restart.minimum_duration import minimum_duration_ms
 from badgeryoke.cluster.state_machine_part import FLEET
-from badgeryoke.testbed.checkers.contract_ledger import MIN_ERROR_BASE_FRACTION, worst_second
-from badgeryoke.testbed.checkers.contract_ledger import ExpectedLedger as ContractBook
+from badgeryoke.gateway.graceful_shutdown import ShutdownEvent, ShutdownState
+from badgeryoke.testbed.checkers.contract_ledger import MIN_ERROR_BASE_FRACTION, ExpectedLedger, worst_second
 from badgeryoke.testbed.emulator.faulty_links import Links
 from badgeryoke.testbed.emulator.key_value_load import (
     AGAIN,
@@ -49,10 +49,11 @@
 )  # for a gateway to become empty or come back, and from then to the next wave
 ROLLED_S = 120.0  # for which the end waits for a roll at the most
 DOWN_S = 2.0  # that a scheduling leader which was killed stays down
-MARKS = {  # in a gateway's log, what a wave takes without any schedule
-    "pause: turning clients away": "paused",
-    "to turn away: drained": "drained",
-    "sigterm: leaving": "leaving",
+# The transitions in a gateway's log that time a restart: from draining to drained, and from SIGTERM on.
+MARKS = {
+    f"{ShutdownEvent.PAUSE.value}: {ShutdownState.REJECTING.value}": "paused",
+    f"{ShutdownEvent.NOTICE_ELAPSED.value}: {ShutdownState.PAUSED.value}": "drained",
+    f"{ShutdownEvent.TERMINATE.value}: {ShutdownState.TERMINATING.value}": "leaving",
 }
 MOST_LOOKS = 10_000  # at one contract's calls
 ROOM_S = 0.25  # before a contract that found no room is proposed again: the capacity may not be stated yet
@@ -111,7 +112,7 @@
         self.fell: Callable[[int], Awaitable[None]] | None = None  # the stage's: kill, and start anew
         self.raise_: Callable[[int], Awaitable[None]] | None = None
         self._contract_of: dict[int, ContractText] = {}
-        self._books = {text.name: ContractBook(text.rate, text.burst) for text in scenario.contracts}
+        self._books = {text.name: ExpectedLedger(text.rate, text.burst) for text in scenario.contracts}
         self.contracts: dict[str, dict[str, Any]] = {}  # whether each was admitted, and what became of it
         self._drawn: dict[tuple[str, int], float] = {}  # by contract and gateway, as told
         self._lease_ms: dict[str, list[float]] = {}  # of calls for a part, as gateways say at each look
