Split scenario parsing into model, fields, sections, faults and parser

Cause: scenario/model.py held types, the reading of fields, and the parsing of every section in 648 lines.

Change: model.py has the types, fields.py the typed reading of fields, sections.py plans, customers, contracts and rolling restarts, faults.py the injected faults, parser.py the complete file and its loading. Definitions are moved as they were, under public names with docstrings; error texts and scenario words are unchanged.

--- a/badgeryoke/testbed/commands.py
+++ b/badgeryoke/testbed/commands.py
@@ -20,7 +20,8 @@
 from badgeryoke.testbed.report.cluster_figures import FleetFigures, spread
 from badgeryoke.testbed.report.result import Result, within_stated
 from badgeryoke.testbed.report.write import compare_folders, write_folder
-from badgeryoke.testbed.scenario.model import Scenario, load, shipped
+from badgeryoke.testbed.scenario.model import Scenario
+from badgeryoke.testbed.scenario.parser import load, shipped
 from badgeryoke.testbed.scenario.sexpr import TextError
 from badgeryoke.testbed.simulation.world import play
 
--- a/badgeryoke/testbed/report/write.py
+++ b/badgeryoke/testbed/report/write.py
@@ -12,7 +12,8 @@
 
 from badgeryoke.testbed.report.plot import Line, bands, chart
 from badgeryoke.testbed.report.result import Result, within_stated
-from badgeryoke.testbed.scenario.model import Scenario, parse
+from badgeryoke.testbed.scenario.model import Scenario
+from badgeryoke.testbed.scenario.parser import parse
 
 SHOWN = (
     "ceiling_excess",
--- a/badgeryoke/testbed/scenario/__init__.py
+++ b/badgeryoke/testbed/scenario/__init__.py
@@ -1,1 +1,1 @@
-"""Scenario texts: S-expressions read into checked values."""
+"""Scenario files: S-expressions parsed into a checked, typed model."""
--- a/badgeryoke/testbed/scenario/sexpr.py
+++ b/badgeryoke/testbed/scenario/sexpr.py
@@ -12,7 +12,7 @@
 
 MOST_TEXT = 1024 * 1024
 NUMBER = re.compile(r"(-?\d+(?:\.\d+)?)(u/s|ms|min|s|%|x|u|/s)?")
-# Each unit: what it measures, and its size in the laboratory's own (ms, units a second, parts of one).
+# Each unit: what it measures, and its size in the testbed's own (ms, units a second, parts of one).
 UNITS = {
     "ms": ("time", 1.0),
     "s": ("time", 1000.0),
--- a/badgeryoke/testbed/seed_sweep.py
+++ b/badgeryoke/testbed/seed_sweep.py
@@ -27,7 +27,7 @@
 from badgeryoke.testbed.emulator.run import Stage
 from badgeryoke.testbed.report.cluster_figures import spread
 from badgeryoke.testbed.report.write import commit
-from badgeryoke.testbed.scenario.model import load
+from badgeryoke.testbed.scenario.parser import load
 from badgeryoke.testbed.scenario.sexpr import TextError
 
 LATE_MS = 300.0  # of the 450 that a gateway gives its front
--- a/tests/decisions/counter_health/test_worlds.py
+++ b/tests/decisions/counter_health/test_worlds.py
@@ -10,7 +10,8 @@
 from hypothesis import strategies as st
 
 from badgeryoke.decisions.counter_health.error_bound import CEILING_ERROR
-from badgeryoke.testbed.scenario.model import Crowd, Fault, PlanText, Scenario, load
+from badgeryoke.testbed.scenario.model import Crowd, Fault, PlanText, Scenario
+from badgeryoke.testbed.scenario.parser import load
 from badgeryoke.testbed.simulation.counter import Answer, CounterModel
 from badgeryoke.testbed.simulation.world import World, play
 
--- a/tests/decisions/test_behaviour_digests.py
+++ b/tests/decisions/test_behaviour_digests.py
@@ -31,7 +31,8 @@
 from badgeryoke.decisions.plan_schedule.schedule import PlanSchedule, ScheduleError
 from badgeryoke.testbed.checkers.quota_checker import QuotaChecker
 from badgeryoke.testbed.cluster_simulation.generated_plans import play_scenario
-from badgeryoke.testbed.scenario.model import Scenario, load, shipped
+from badgeryoke.testbed.scenario.model import Scenario
+from badgeryoke.testbed.scenario.parser import load, shipped
 from badgeryoke.testbed.simulation.counter import Answer, CounterModel
 from badgeryoke.testbed.simulation.world import World
 from tests.support.canonical import Digest
--- a/tests/testbed/test_emulator_cluster.py
+++ b/tests/testbed/test_emulator_cluster.py
@@ -15,7 +15,8 @@
 from badgeryoke.testbed.emulator.faulty_links import Links
 from badgeryoke.testbed.emulator.key_value_load import NOBODY, UNKNOWN, Book, read_answer
 from badgeryoke.testbed.emulator.run import Stage
-from badgeryoke.testbed.scenario.model import Fault, load, parse
+from badgeryoke.testbed.scenario.model import Fault
+from badgeryoke.testbed.scenario.parser import load, parse
 from badgeryoke.testbed.scenario.sexpr import TextError
 
 FLEET = "(gateways 5 (fleet on) (copies 3) (halls 2))"
--- a/tests/testbed/test_scenarios.py
+++ b/tests/testbed/test_scenarios.py
@@ -17,7 +17,8 @@
 from badgeryoke.testbed.emulator.run import Stage
 from badgeryoke.testbed.report.result import within_stated
 from badgeryoke.testbed.report.write import compare_folders, write_folder
-from badgeryoke.testbed.scenario.model import Fault, PlanText, Scenario, load, parse, shipped
+from badgeryoke.testbed.scenario.model import Fault, PlanText, Scenario
+from badgeryoke.testbed.scenario.parser import load, parse, shipped
 from badgeryoke.testbed.scenario.sexpr import TextError
 from badgeryoke.testbed.simulation.counter import CounterModel
 from badgeryoke.testbed.simulation.world import play
