Document the testbed's last public methods; record digests under the new names

Cause: the digest tests override the quota checker's methods, and three overrides still had the old names, so the recorded events were missing (27 digests of the simulated scenarios failed). Fifteen public methods of the testbed had no docstring, and D102 was off for it.

Change: the overrides carry the new names, with the same recorded tuples; no digest was edited.

--- a/badgeryoke/testbed/cluster_benchmark.py
+++ b/badgeryoke/testbed/cluster_benchmark.py
@@ -71,9 +71,11 @@
     drained, unanswered = False, 0
 
     def pause(self) -> str:
+        """Accept the drain at once; nothing is in the way."""
         return ""
 
     def resume(self) -> str:
+        """Accept the return to service; nothing is in the way."""
         return ""
 
     def end(self) -> None:
--- a/badgeryoke/testbed/dispatcher_cost.py
+++ b/badgeryoke/testbed/dispatcher_cost.py
@@ -42,18 +42,22 @@
         self.now, self._soon = 0.0, list[tuple[Callable[..., object], tuple[Any, ...]]]()
 
     def time(self) -> float:
+        """The virtual time in s."""
         return self.now
 
     def call_soon(self, callback: Callable[..., object], *args: Any) -> Any:
+        """Queue a callback for the next `run`."""
         self._soon.append((callback, args))
 
     def call_later(self, delay: float, callback: Callable[..., object], *args: Any) -> Any:
+        """Accept a timer that never fires; its handle is this loop."""
         return self
 
     def cancel(self) -> None:
-        pass
+        """Do nothing: no timer is pending."""
 
     def run(self) -> None:
+        """Advance 1 ms and call the queued callbacks."""
         self.now += 0.001
         soon, self._soon = self._soon, []
         for callback, args in soon:
@@ -107,9 +111,11 @@
         one.expires_ms = one.until_ms = math.inf
 
     def add(self, *_: object) -> None:
+        """Fail: the measured dispatcher has no quota counter."""
         raise AssertionError("no counter here")
 
     def start(self, execution: Attempt) -> None:
+        """Queue an attempt for the response of the next step."""
         self._out.append(execution)
 
     def _answered(self, answer: object) -> None:
--- a/badgeryoke/testbed/emulator/discovery_agent.py
+++ b/badgeryoke/testbed/emulator/discovery_agent.py
@@ -18,10 +18,12 @@
         self._timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport for the responses."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
 
     def data_received(self, data: bytes) -> None:
+        """Answer each complete request; a watch is answered without changes when its wait is over."""
         self._held += data
         while b"\r\n\r\n" in self._held:
             head, self._held = self._held.split(b"\r\n\r\n", 1)
@@ -35,6 +37,7 @@
             )
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """Cancel the pending watch."""
         self._transport = None
         if self._timer is not None:
             self._timer.cancel()
--- a/badgeryoke/testbed/emulator/resp.py
+++ b/badgeryoke/testbed/emulator/resp.py
@@ -24,11 +24,13 @@
         self.transport: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport and notify the subclass."""
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
         self.begun()
 
     def data_received(self, data: bytes) -> None:
+        """Pass each complete value to `got`; invalid or oversized input ends the connection."""
         self._held += data
         at = 0
         try:
@@ -46,6 +48,7 @@
             self.end()
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """Notify the subclass that the connection is gone."""
         self.transport = None
         self.ended()
 
--- a/tests/decisions/test_behaviour_digests.py
+++ b/tests/decisions/test_behaviour_digests.py
@@ -326,7 +326,7 @@
     )
     digest = Digest()
     world = World(text, 1)
-    world.referee = RecordingReferee(text, digest)
+    world.referee = RecordingQuotaChecker(text, digest)
     world.counter = RecordingCounter(text, random.Random(f"{name}/counter"), digest)
     result = world.run()
     words: dict[str, int] = {}
@@ -359,25 +359,29 @@
     return value
 
 
-class RecordingReferee(QuotaChecker):
-    """A referee that also puts what it is told into a digest."""
+class RecordingQuotaChecker(QuotaChecker):
+    """A quota checker that also adds each of its events to a digest."""
 
     def __init__(self, text: Scenario, digest: Digest) -> None:
         super().__init__(text.plans, text.trouble)
         self.digest, self.kinds = digest, dict[str, int]()
 
-    def tried(self, now: float, rid: str, customer: int, plan: str, units: float, gateway: int) -> None:
-        """A client's try."""
+    def request_sent(
+        self, now: float, rid: str, customer: int, plan: str, units: float, gateway: int
+    ) -> None:
+        """A client request."""
         self.digest.add((0, now, rid, customer, units, gateway))
         super().request_sent(now, rid, customer, plan, units, gateway)
 
-    def arrived(self, now: float, rid: str, customer: int, plan: str, units: float, gateway: int) -> None:
-        """A send, as it comes to its server."""
+    def attempt_arrived(
+        self, now: float, rid: str, customer: int, plan: str, units: float, gateway: int
+    ) -> None:
+        """An attempt, as it reaches its server."""
         self.digest.add((1, now, rid, customer, units, gateway))
         super().attempt_arrived(now, rid, customer, plan, units, gateway)
 
-    def answered(self, now: float, rid: str, kind: str) -> None:
-        """A final answer."""
+    def response_received(self, now: float, rid: str, kind: str) -> None:
+        """A final response."""
         self.digest.add((2, now, rid, self.kinds.setdefault(kind, len(self.kinds))))
         super().response_received(now, rid, kind)
 
