--- a/tests/decisions/test_behaviour_digests.py
+++ b/tests/decisions/test_behaviour_digests.py
@@ -33,9 +33,10 @@
     units_at,
 )
 from badgeryoke.decisions.plan_schedule.schedule import PlanSchedule, ScheduleError
-from badgeryoke.testbed.checkers.quota_checker import Referee
+from badgeryoke.testbed.checkers.quota_checker import QuotaChecker
 from badgeryoke.testbed.cluster_simulation.generated_plans import play_scenario
-from badgeryoke.testbed.scenario.model import Scenario, load, shipped
+from badgeryoke.testbed.scenario.model import Scenario
+from badgeryoke.testbed.scenario.parser import load, shipped
 from badgeryoke.testbed.simulation.counter import Answer, CounterModel
 from badgeryoke.testbed.simulation.world import World
 from tests.support.canonical import Digest
@@ -329,7 +330,7 @@
     )
     digest = Digest()
     world = World(text, 1)
-    world.referee = RecordingReferee(text, digest)
+    world.referee = RecordingQuotaChecker(text, digest)
     world.counter = RecordingCounter(text, random.Random(f"{name}/counter"), digest)
     result = world.run()
     words: dict[str, int] = {}
@@ -362,27 +363,31 @@
     return value
 
 
-class RecordingReferee(Referee):
-    """A referee that also puts what it is told into a digest."""
+class RecordingQuotaChecker(QuotaChecker):
+    """A quota checker that also adds each of its events to a digest."""
 
     def __init__(self, text: Scenario, digest: Digest) -> None:
         super().__init__(text.plans, text.trouble)
         self.digest, self.kinds = digest, dict[str, int]()
 
-    def tried(self, now: float, rid: str, customer: int, plan: str, units: float, gateway: int) -> None:
-        """A client's try."""
+    def request_sent(
+        self, now: float, rid: str, customer: int, plan: str, units: float, gateway: int
+    ) -> None:
+        """A client request."""
         self.digest.add((0, now, rid, customer, units, gateway))
-        super().tried(now, rid, customer, plan, units, gateway)
+        super().request_sent(now, rid, customer, plan, units, gateway)
 
-    def arrived(self, now: float, rid: str, customer: int, plan: str, units: float, gateway: int) -> None:
-        """A send, as it comes to its server."""
+    def attempt_arrived(
+        self, now: float, rid: str, customer: int, plan: str, units: float, gateway: int
+    ) -> None:
+        """An attempt, as it reaches its server."""
         self.digest.add((1, now, rid, customer, units, gateway))
-        super().arrived(now, rid, customer, plan, units, gateway)
+        super().attempt_arrived(now, rid, customer, plan, units, gateway)
 
-    def answered(self, now: float, rid: str, kind: str) -> None:
-        """A final answer."""
+    def response_received(self, now: float, rid: str, kind: str) -> None:
+        """A final response."""
         self.digest.add((2, now, rid, self.kinds.setdefault(kind, len(self.kinds))))
-        super().answered(now, rid, kind)
+        super().response_received(now, rid, kind)
 
 
 class RecordingCounter(CounterModel):
--- a/tests/testbed/test_emulator_cluster.py
+++ b/tests/testbed/test_emulator_cluster.py
@@ -15,7 +15,8 @@
 from badgeryoke.testbed.emulator.faulty_links import Links
 from badgeryoke.testbed.emulator.key_value_load import NOBODY, UNKNOWN, Book, read_answer
 from badgeryoke.testbed.emulator.run import Stage
-from badgeryoke.testbed.scenario.model import Fault, load, parse
+from badgeryoke.testbed.scenario.model import Fault
+from badgeryoke.testbed.scenario.parser import load, parse
 from badgeryoke.testbed.scenario.sexpr import TextError
 
 FLEET = "(gateways 5 (fleet on) (copies 3) (halls 2))"
@@ -310,7 +311,7 @@
     for other in range(1, 5):
         fleet.links.ways[0, other].cut = True
     fleet.asked(7, 2500.0, 4.0, 0)("refused")  # where it cannot be served: short, and no less of a floor
-    assert fleet.floor() == 0.5 and fleet._books["c"].short() > 3.9
+    assert fleet.floor() == 0.5 and fleet._books["c"].units_short() > 3.9
 
 
 # Real processes -----------------------------------------------------------------------------------------
