Draw all tests' cases from their seeds alone, and list a fault that other draws found

Cause: Hypothesis mixes constants of the loaded modules into its draws; after the renames the bootstrap's drawn test met a case in which one member never learns of the founding. Drawn tests keep rules, bounds and numbers of examples.

--- a/tests/cluster/test_membership.py
+++ b/tests/cluster/test_membership.py
@@ -259,6 +259,12 @@
     assert len(records(net)) == 4, "and in the end there is one"
 
 
+def test_every_member_is_bootstrapped_where_the_first_one_lost_its_disk_early() -> None:
+    """A case that the drawn test above meets in some draws: listed in KNOWN-RED.txt."""
+    bootstrap_drawn = test_no_second_founding_while_a_founder_lives.hypothesis.inner_test  # type: ignore[attr-defined]
+    bootstrap_drawn(1_164_474_438, [("wipe", 0, 33.0)])
+
+
 def check_one_founding(net: MemberNetwork) -> None:
     """Founders, as they are now, with their disks, belong to one founding."""
     founders = {
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -9,11 +9,20 @@
 from typing import NamedTuple
 
 import pytest
+from hypothesis.internal.conjecture import providers
+from hypothesis.internal.constants_ast import Constants
 
 NAME, MOST = "KNOWN-RED.txt", 3
 BARRED = ("skip", "skipif", "xfail")
 
 
+@pytest.fixture(autouse=True)
+def draws_from_the_seed_alone(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Hypothesis draws some values from the constants of all modules that are loaded, so that the cases which
+    a test meets would change with every constant in the project and with the tests run beside it."""
+    monkeypatch.setattr(providers, "_get_local_constants", Constants)
+
+
 class Red(NamedTuple):
     """A line of the list."""
 
--- a/tests/decisions/counter_health/test_state_machine.py
+++ b/tests/decisions/counter_health/test_state_machine.py
@@ -8,11 +8,8 @@
 
 from itertools import pairwise
 
-import pytest
 from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
-from hypothesis.internal.conjecture import providers
-from hypothesis.internal.constants_ast import Constants
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from badgeryoke.decisions.counter_health import presence_register
@@ -24,14 +21,6 @@
 from badgeryoke.decisions.counter_health.error_bound import detection_time_ms
 from tests.decisions.counter_health.test_detector import DetectorFleet
 
-
-@pytest.fixture(autouse=True)
-def draws_from_the_seed_alone(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Hypothesis draws some values from the constants of all modules that are loaded, so that which case the
-    state machine meets would change with every constant in the project and with the tests run beside it."""
-    monkeypatch.setattr(providers, "_get_local_constants", Constants)
-
-
 GATEWAYS = 3
 SIDES = st.sampled_from((((0,), (1, 2)), ((0, 1), (2,)), ((0,), (1,), (2,)), ((1,), (0, 2))))
 
