Review case 1: a debit retried through another gateway is charged twice

Cause: the Diameter front goes on with a debit after its client's connection has ended (request_register.py, _submit). Where its attempts so far surely never ran, a further one goes out after the window of the key, while the client's retry with the T flag has long been run through another gateway.

Nothing is mended.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,14 +1,11 @@
-"""Planned restarts of a gateway under Diameter load: each debit that it takes and a server runs has to be answered."""
+"""A debit that its client retries through another gateway must not be charged twice."""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
 import random
-import signal
 import sys
-import time
-from dataclasses import dataclass, field
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[2]))
@@ -16,141 +13,118 @@
 from review.support import stand_ins as peers
 from review.support.case import CannotRunError, run_case
 
-CYCLES = 8  # planned restarts of the gateway in one run
-CONNECTIONS = 14
-REQUESTS_PER_S = 140.0  # of all connections together: the most that the pages send to a usual gateway
-TRAFFIC_S = 1.5  # before the restart begins
-LINK_DELAY_S = 0.002  # one way between two halls: 1.4 to 2.6 ms
-WORK_S = 0.02
-END_WAIT_S = 6.0  # SIGKILL follows SIGTERM after 3 s and 0.7 s at the earliest
+TRIALS = 8
+WINDOW_MS = 400.0  # servers drop a repeat of a key for this long
+CUT_S = 0.45  # how long the first gateway does not reach the load servers
+RETRY_AFTER_S = 0.03  # the client's connection is reset this long after its debit
+PAUSE_S = 3.0  # between two trials: over the deadline and its slack
+IDLE_S = 0.2  # load servers close connections that have been idle for this long
+CLIENT = "c1.clients.example"
 
 
-@dataclass
-class Client:
-    """One Diameter connection: sends debits at random moments, answers a DPR at once and then sends no more."""
+async def connect(port: int) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Open a client's connection to a gateway and exchange capabilities."""
+    reader, writer = await asyncio.open_connection(peers.HOST, port)
+    writer.write(peers.capabilities(CLIENT))
+    if (await peers.read_message(reader)).result_code() != peers.SUCCESS:
+        raise CannotRunError("the capabilities exchange failed")
+    return reader, writer
 
-    name: str
-    record: peers.Record
-    debits: list[peers.Debit] = field(default_factory=list)
-    sending: bool = True
-    writer: asyncio.StreamWriter | None = None
 
-    async def connect(self, port: int) -> asyncio.StreamReader:
-        """Connect and exchange capabilities."""
-        reader, self.writer = await asyncio.open_connection(peers.HOST, port)
-        self.writer.write(peers.capabilities(self.name))
-        answer = await peers.read_message(reader)
-        if answer.result_code() != peers.SUCCESS:
-            raise ConnectionError(f"capabilities exchange: {answer.result_code()}")
-        return reader
-
-    async def send(self, rate: float) -> None:
-        """Send debits until told to stop."""
-        assert self.writer is not None
-        number = 0
-        while True:
-            await asyncio.sleep(random.expovariate(rate))
-            if not self.sending or self.writer.is_closing():
-                return
-            number += 1
-            now_ms = peers.now_ms()
-            debit = peers.Debit(f"{self.name};{number}", random.getrandbits(32), now_ms, int(now_ms / 1000))
-            self.debits.append(debit)
-            self.writer.write(debit.encode(self.name, number))
-            self.record.write(f"client {self.name} sends {debit.session_id}")
-
-    async def receive(self, reader: asyncio.StreamReader) -> None:
-        """Read answers until the connection ends."""
-        assert self.writer is not None
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+async def answer_of(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> int:
+    """Wait for the answer to the debit; 0 if none comes in time."""
+    with contextlib.suppress(TimeoutError, OSError, asyncio.IncompleteReadError):
+        async with asyncio.timeout(2.6):
             while True:
                 message = await peers.read_message(reader)
-                if message.is_request:
-                    self.record.write(f"client {self.name} receives request {message.code}, answers success")
-                    if message.code == peers.DISCONNECT:
-                        self.sending = False
-                    self.writer.write(peers.base_answer(message, self.name))
-                elif message.code == peers.CREDIT_CONTROL:
-                    debit = self.debits[message.hop_by_hop - 1]
-                    debit.answered_ms, debit.result = peers.now_ms(), message.result_code()
-                    self.record.write(f"client {self.name}: {debit.session_id} answered {debit.result}")
-        self.sending = False
-        self.record.write(f"client {self.name}: the connection has ended")
-        self.writer.close()
+                if message.code == peers.CREDIT_CONTROL and not message.is_request:
+                    return message.result_code()
+                writer.write(peers.base_answer(message, CLIENT))
+    return 0
 
 
-async def cycle(
+async def trial(
     number: int,
     trouble: bool,
-    gateway: peers.Gateway,
-    proxy: peers.DelayProxy,
+    gateways: list[peers.Gateway],
+    links: list[peers.CuttableLink],
     record: peers.Record,
-) -> list[peers.Debit]:
-    """Start the gateway, send to it, end it as planned; returns the debits."""
-    await gateway.start()
-    if not await gateway.ready():
-        raise CannotRunError(f"the gateway did not start: {gateway.log()[-500:]}")
-    clients = [Client(f"c{number}-{index}.clients.example", record) for index in range(CONNECTIONS)]
-    readers = [await client.connect(proxy.port) for client in clients]
-    receiving = [asyncio.ensure_future(c.receive(r)) for c, r in zip(clients, readers, strict=True)]
-    sending = [asyncio.ensure_future(client.send(REQUESTS_PER_S / CONNECTIONS)) for client in clients]
-    await asyncio.sleep(TRAFFIC_S)
+) -> peers.Debit:
+    """Send one debit; with trouble, its first gateway is cut off from the servers and the client goes elsewhere."""
+    first_reader, first = await connect(gateways[0].diameter_port or 0)
+    now_ms = peers.now_ms()
+    await asyncio.sleep((1000.0 - now_ms % 1000.0) / 1000.0)
     if trouble:
-        record.write("SIGTERM to the gateway")
-        gateway.send_signal(signal.SIGTERM)
-        # Clients go on until the gateway ends their connection.
-        await asyncio.wait(receiving, timeout=END_WAIT_S)
+        record.write("the first gateway's links to the load servers are cut")
+        for link in links:
+            link.cut()
+        asyncio.get_running_loop().call_later(CUT_S, lambda: [link.restore() for link in links])
+    now_ms = peers.now_ms()
+    debit = peers.Debit(f"{CLIENT};{number}", random.getrandbits(32), now_ms, int(now_ms // 1000))
+    first.write(debit.encode(CLIENT, number + 1))
+    record.write(f"client sends {debit.session_id} to {gateways[0].name}")
+    if not trouble:
+        debit.result = await answer_of(first_reader, first)
+        record.write(f"client: {debit.session_id} answered {debit.result} by {gateways[0].name}")
     else:
-        await asyncio.sleep(0.5)
-        for client in clients:
-            client.sending = False
-        await asyncio.wait(sending, timeout=1.0)
-        await asyncio.sleep(2.1)  # the deadline of the class and its slack
-    for task in sending:
-        task.cancel()
-    deadline_s = time.monotonic() + END_WAIT_S
-    while trouble and gateway.running and time.monotonic() < deadline_s:
-        await asyncio.sleep(0.02)
-    record.write(f"gateway's exit code: {gateway.exit_code}")
-    await gateway.kill()
-    await asyncio.wait(receiving, timeout=1.0)
-    return [debit for client in clients for debit in client.debits]
+        await asyncio.sleep(RETRY_AFTER_S)
+        first.transport.abort()
+        record.write(f"the connection to {gateways[0].name} is reset")
+        reader, second = await connect(gateways[1].diameter_port or 0)
+        second.write(debit.encode(CLIENT, number + 1, retransmitted=True))
+        record.write(f"client sends {debit.session_id} again to {gateways[1].name}, with the T flag")
+        debit.result = await answer_of(reader, second)
+        record.write(f"client: {debit.session_id} answered {debit.result} by {gateways[1].name}")
+        second.close()
+    first.close()
+    await asyncio.sleep(PAUSE_S)
+    return debit
 
 
 async def run(trouble: bool, record: peers.Record, folder: Path) -> bool:
     """Run the case; returns whether the rule held."""
-    ledger = peers.Ledger(window_ms=1000.0)
-    servers = [peers.LoadServer(f"s-{index}", ledger, record, WORK_S) for index in range(4)]
+    ledger = peers.Ledger(WINDOW_MS)
+    servers = [peers.LoadServer(f"s-{index}", ledger, record, idle_s=IDLE_S) for index in range(4)]
     counter = peers.Counter()
     for server in servers:
         await server.start()
     await counter.start()
-    discovery = peers.Discovery([peers.listed(server.name, server.port) for server in servers])
-    await discovery.start()
-    diameter_port = peers.free_port()
-    proxy = peers.DelayProxy(diameter_port, LINK_DELAY_S)
-    await proxy.start()
-    sent = lost = never_read = 0
-    for number in range(CYCLES):
-        gateway = peers.Gateway(
-            "n1", folder / f"cycle-{number}", discovery, counter, peers.settings(0, 2), diameter_port
+    links = [peers.CuttableLink(server.port) for server in servers]
+    lists = [
+        [peers.listed(server.name, link.port) for server, link in zip(servers, links, strict=True)],
+        [peers.listed(server.name, server.port) for server in servers],
+    ]
+    gateways = []
+    for index, listed in enumerate(lists):
+        discovery = peers.Discovery(listed)
+        await discovery.start()
+        values = peers.settings(index, 2, WINDOW_MS)
+        name = f"n{index + 1}"
+        gateways.append(
+            peers.Gateway(name, folder / name, discovery, counter, values, diameter_port=peers.free_port())
         )
-        try:
-            debits = await cycle(number, trouble, gateway, proxy, record)
-        finally:
+    twice = answered = 0
+    try:
+        for gateway in gateways:
+            await gateway.start()
+        for gateway in gateways:
+            if not await gateway.ready():
+                raise CannotRunError(f"the gateway did not start: {gateway.log()[-500:]}")
+        for number in range(TRIALS):
+            debit = await trial(number, trouble, gateways, links, record)
+            answered += debit.result == peers.SUCCESS
+            runs = ledger.runs_of(debit.session_id.encode())
+            if len(runs) > 1:
+                twice += 1
+                record.say(
+                    f"TWICE: {debit.session_id} has run at {' and at '.join(run.server for run in runs)}, "
+                    f"{runs[1].at_ms - runs[0].at_ms:.0f} ms apart"
+                )
+    finally:
+        for gateway in gateways:
             await gateway.kill()
-        unanswered = [debit for debit in debits if not debit.answered_ms]
-        run_unanswered = [debit for debit in unanswered if ledger.runs_of(debit.session_id.encode())]
-        for debit in run_unanswered:
-            record.say(
-                f"LOST: {debit.session_id} was taken and run, and its connection ended without an answer"
-            )
-        sent, lost = sent + len(debits), lost + len(run_unanswered)
-        never_read += len(unanswered) - len(run_unanswered)
-    record.say(
-        f"{sent} debits sent, {lost} taken, run and never answered, {never_read} that no server has seen unanswered"
-    )
-    return not lost
+    record.say(f"{TRIALS} debits, {answered} answered with success, {twice} run twice")
+    return not twice
 
 
 if __name__ == "__main__":
--- a/review/support/stand_ins.py
+++ b/review/support/stand_ins.py
@@ -142,16 +142,25 @@
 
 
 class LoadServer(StandIn):
-    """A load server on RESP2: serves each request after `work_s`, in the order of its connection."""
+    """A load server on RESP2: serves each request after `work_s`, in the order of its connection.
 
-    def __init__(self, name: str, ledger: Ledger, record: Record, work_s: float = 0.02) -> None:
+    It closes a connection on which no request has come for `idle_s`.
+    """
+
+    def __init__(
+        self, name: str, ledger: Ledger, record: Record, work_s: float = 0.02, idle_s: float = 20.0
+    ) -> None:
         super().__init__()
-        self.name, self.ledger, self.record, self.work_s = name, ledger, record, work_s
+        self.name, self.ledger, self.record = name, ledger, record
+        self.work_s, self.idle_s = work_s, idle_s
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Answer the commands of one connection."""
         while True:
-            words = await read_reply(reader)
+            try:
+                words = await asyncio.wait_for(read_reply(reader), self.idle_s)
+            except TimeoutError:
+                return
             if words[0].upper() not in (b"SVC.QUERY", b"SVC.SUBMIT"):
                 writer.write(b"+PONG\r\n" if words[0].upper() == b"PING" else b"-ERR unknown\r\n")
                 continue
@@ -622,3 +631,69 @@
         queue.put_nowait((loop.time() + self._delay_s, b""))
         with contextlib.suppress(OSError):
             await delivery
+
+
+class CuttableLink:
+    """The way from one gateway to one load server; while it is cut, nothing passes and no new connection comes up."""
+
+    def __init__(self, port: int) -> None:
+        self._target = port
+        self._listening = socket.socket()
+        self._listening.bind((HOST, 0))
+        self._listening.setblocking(False)
+        self.port = int(self._listening.getsockname()[1])
+        self._fillers: list[socket.socket] = []
+        self._filler_ports: set[int] = set()
+        self._open = asyncio.Event()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.restore()
+
+    def cut(self) -> None:
+        """Cut the link: the system's queue of new connections is filled, so that it drops further ones."""
+        asyncio.get_running_loop().remove_reader(self._listening)
+        self._open.clear()
+        self._listening.listen(0)
+        for _ in range(2):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex((HOST, self.port))
+            self._filler_ports.add(filler.getsockname()[1])
+            self._fillers.append(filler)
+
+    def restore(self) -> None:
+        """Let bytes and new connections pass."""
+        self._listening.listen(128)
+        for filler in self._fillers:
+            filler.close()
+        self._fillers.clear()
+        self._open.set()
+        asyncio.get_running_loop().add_reader(self._listening, self._accept)
+
+    def _accept(self) -> None:
+        with contextlib.suppress(BlockingIOError):
+            while True:
+                accepted, (_, port) = self._listening.accept()
+                if port in self._filler_ports:
+                    self._filler_ports.discard(port)
+                    accepted.close()
+                    continue
+                accepted.setblocking(False)
+                task = asyncio.ensure_future(self._serve(accepted))
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+
+    async def _serve(self, accepted: socket.socket) -> None:
+        with contextlib.suppress(OSError):
+            reader, writer = await asyncio.open_connection(sock=accepted)
+            server_reader, server_writer = await asyncio.open_connection(HOST, self._target)
+            await asyncio.gather(
+                self._pump(reader, server_writer), self._pump(server_reader, writer), return_exceptions=True
+            )
+
+    async def _pump(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while data := await reader.read(65536):
+                await self._open.wait()
+                writer.write(data)
+        finally:
+            writer.close()
