Review case 1: a retry through another gateway runs in another room, a second time

Cause: a retransmission with the T flag that a gateway has not seen is sent to any server while the key's window is open (request_register.py, _retransmission_deadline_ms), also where only the servers of one zone or cell drop repeats.

Change: review/1 is the new case; the stand-in servers know groups. Nothing is mended.

--- a/review/support/stand_ins.py
+++ b/review/support/stand_ins.py
@@ -119,19 +119,19 @@
 
 @dataclass
 class Ledger:
-    """What all load servers of a run have received; they share which keys they have seen (group `all`)."""
+    """What all load servers of a run have received; those of one group share which keys they have seen."""
 
     window_ms: float
     executions: list[Execution] = field(default_factory=list)
-    _seen_ms: dict[str, float] = field(default_factory=dict)
+    _seen_ms: dict[tuple[str, str], float] = field(default_factory=dict)
 
-    def begin(self, server: str, request_id: str, key: str, body: bytes) -> Execution:
-        """Record a request whose last byte has arrived; a repeat within the key's window is dropped."""
+    def begin(self, server: str, group: str, request_id: str, key: str, body: bytes) -> Execution:
+        """Record a request whose last byte has arrived; a repeat within its group and window is dropped."""
         at_ms = now_ms()
-        first_ms = self._seen_ms.get(key) if key else None
+        first_ms = self._seen_ms.get((group, key)) if key else None
         ran = first_ms is None or at_ms - first_ms >= self.window_ms
         if key and ran:
-            self._seen_ms[key] = at_ms
+            self._seen_ms[group, key] = at_ms
         execution = Execution(at_ms, server, request_id, key, body, ran)
         self.executions.append(execution)
         return execution
@@ -144,29 +144,26 @@
 class LoadServer(StandIn):
     """A load server on RESP2: serves each request after `work_s`, in the order of its connection.
 
-    It closes a connection on which no request has come for `idle_s`.
+    `group`: the servers that drop repeats of what one of them has received.
     """
 
     def __init__(
-        self, name: str, ledger: Ledger, record: Record, work_s: float = 0.02, idle_s: float = 20.0
+        self, name: str, ledger: Ledger, record: Record, work_s: float = 0.02, group: str = "all"
     ) -> None:
         super().__init__()
         self.name, self.ledger, self.record = name, ledger, record
-        self.work_s, self.idle_s = work_s, idle_s
+        self.work_s, self.group = work_s, group
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Answer the commands of one connection."""
         while True:
-            try:
-                words = await asyncio.wait_for(read_reply(reader), self.idle_s)
-            except TimeoutError:
-                return
+            words = await read_reply(reader)
             if words[0].upper() not in (b"SVC.QUERY", b"SVC.SUBMIT"):
                 writer.write(b"+PONG\r\n" if words[0].upper() == b"PING" else b"-ERR unknown\r\n")
                 continue
             fields = dict(part.split("=", 1) for part in words[3].decode().split(","))
             body = words[4] if len(words) > 4 else b""
-            execution = self.ledger.begin(self.name, words[2].decode(), fields.get("k", ""), body)
+            execution = self.ledger.begin(self.name, self.group, words[2].decode(), fields.get("k", ""), body)
             self.record.write(
                 f"server {self.name} received id {execution.request_id} key {execution.key or '-'} "
                 f"body {body.decode(errors='replace') or '-'}: "
@@ -237,12 +234,12 @@
             )
 
 
-def listed(name: str, port: int) -> dict[str, Any]:
+def listed(name: str, port: int, zone: str = "hall-a") -> dict[str, Any]:
     """An entry of discovery's list: a server that has been up for long."""
     return {
         "id": name,
         "addr": f"{HOST}:{port}",
-        "zone": "hall-a",
+        "zone": zone,
         "kind": "std-2core",
         "cell": 0,
         "state": "active",
@@ -254,7 +251,7 @@
 # Settings and gateways --------------------------------------------------------------------------------
 
 
-def settings(index: int, gateways: int, window_ms: float = 1000.0) -> dict[str, Any]:
+def settings(index: int, gateways: int) -> dict[str, Any]:
     """The settings of a small deployment: those of the wire page's example, with wide quotas and no ceiling."""
     plan = {
         "beyond_costs": 0.5,
@@ -283,7 +280,7 @@
         "idempotency": "deduplicated",
         "name": "load-send",
         "slo_ms": 750.0,
-        "window_ms": window_ms,
+        "window_ms": 1000.0,
         "worth": 2.0,
     }
     return {
@@ -631,69 +628,3 @@
         queue.put_nowait((loop.time() + self._delay_s, b""))
         with contextlib.suppress(OSError):
             await delivery
-
-
-class CuttableLink:
-    """The way from one gateway to one load server; while it is cut, nothing passes and no new connection comes up."""
-
-    def __init__(self, port: int) -> None:
-        self._target = port
-        self._listening = socket.socket()
-        self._listening.bind((HOST, 0))
-        self._listening.setblocking(False)
-        self.port = int(self._listening.getsockname()[1])
-        self._fillers: list[socket.socket] = []
-        self._filler_ports: set[int] = set()
-        self._open = asyncio.Event()
-        self._tasks: set[asyncio.Task[None]] = set()
-        self.restore()
-
-    def cut(self) -> None:
-        """Cut the link: the system's queue of new connections is filled, so that it drops further ones."""
-        asyncio.get_running_loop().remove_reader(self._listening)
-        self._open.clear()
-        self._listening.listen(0)
-        for _ in range(2):
-            filler = socket.socket()
-            filler.setblocking(False)
-            filler.connect_ex((HOST, self.port))
-            self._filler_ports.add(filler.getsockname()[1])
-            self._fillers.append(filler)
-
-    def restore(self) -> None:
-        """Let bytes and new connections pass."""
-        self._listening.listen(128)
-        for filler in self._fillers:
-            filler.close()
-        self._fillers.clear()
-        self._open.set()
-        asyncio.get_running_loop().add_reader(self._listening, self._accept)
-
-    def _accept(self) -> None:
-        with contextlib.suppress(BlockingIOError):
-            while True:
-                accepted, (_, port) = self._listening.accept()
-                if port in self._filler_ports:
-                    self._filler_ports.discard(port)
-                    accepted.close()
-                    continue
-                accepted.setblocking(False)
-                task = asyncio.ensure_future(self._serve(accepted))
-                self._tasks.add(task)
-                task.add_done_callback(self._tasks.discard)
-
-    async def _serve(self, accepted: socket.socket) -> None:
-        with contextlib.suppress(OSError):
-            reader, writer = await asyncio.open_connection(sock=accepted)
-            server_reader, server_writer = await asyncio.open_connection(HOST, self._target)
-            await asyncio.gather(
-                self._pump(reader, server_writer), self._pump(server_reader, writer), return_exceptions=True
-            )
-
-    async def _pump(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        try:
-            while data := await reader.read(65536):
-                await self._open.wait()
-                writer.write(data)
-        finally:
-            writer.close()
