--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,12 +1,14 @@
-"""Long values that load servers write in pieces of any size: each has to reach its client whole."""
+"""Planned restarts of a gateway under Diameter load: each debit that it takes and a server runs has to be answered."""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
 import random
+import signal
 import sys
-from dataclasses import dataclass
+import time
+from dataclasses import dataclass, field
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[2]))
@@ -14,121 +16,140 @@
 from review.support import stand_ins as peers
 from review.support.case import CannotRunError, run_case
 
-CLASSES = ("balance-check", "load-send")
-REQUESTS = 40
-INTERVAL_S = 0.5
-VALUE_BYTES = 300 * 1024  # over 64 KiB and under 4 MiB
-DEADLINE_MS = 2000
-PAUSE_S = 0.2  # between two pieces
-FIRST_PIECES = (6, 9)  # bytes; the head of the answer goes out in these, the rest in larger ones
-LARGE_PIECE = 64 * 1024
-
-
-class SlowServer(peers.LoadServer):
-    """A load server that answers with a long value; with trouble, in pieces with a pause after each."""
-
-    def __init__(self, name: str, ledger: peers.Ledger, record: peers.Record, trouble: bool) -> None:
-        super().__init__(name, ledger, record)
-        self.trouble = trouble
-        self.cut_off: list[str] = []  # ids of requests whose connection ended before the answer was written
-
-    async def answer(
-        self, writer: asyncio.StreamWriter, execution: peers.Execution, fields: dict[str, str]
-    ) -> None:
-        """Write the answer to one request."""
-        await asyncio.sleep(self.work_s)
-        data = peers.served(value_of(execution.request_id), fields["units"])
-        sizes = [*FIRST_PIECES] if self.trouble else []
-        offset, started_ms = 0, peers.now_ms()
-        try:
-            while offset < len(data):
-                size = sizes.pop(0) if sizes else LARGE_PIECE if self.trouble else len(data)
-                writer.write(data[offset : offset + size])
-                await writer.drain()
-                offset += size
-                if offset < len(data):
-                    await asyncio.sleep(PAUSE_S)
-                if writer.is_closing():
-                    raise ConnectionResetError
-        except OSError:
-            self.cut_off.append(execution.request_id)
-            self.record.write(
-                f"server {self.name}: cut off after {min(offset, len(data))} of {len(data)} bytes, "
-                f"{peers.now_ms() - started_ms:.0f} ms after the first"
-            )
-            raise
-        self.record.write(
-            f"server {self.name}: {len(data)} bytes written in {peers.now_ms() - started_ms:.0f} ms"
-        )
-
-
-def value_of(request_id: str) -> bytes:
-    """The value made for a request."""
-    return (request_id.encode() * (VALUE_BYTES // len(request_id) + 1))[:VALUE_BYTES]
+CYCLES = 8  # planned restarts of the gateway in one run
+CONNECTIONS = 14
+REQUESTS_PER_S = 140.0  # of all connections together: the most that the pages send to a usual gateway
+TRAFFIC_S = 1.5  # before the restart begins
+LINK_DELAY_S = 0.002  # one way between two halls: 1.4 to 2.6 ms
+WORK_S = 0.02
+END_WAIT_S = 6.0  # SIGKILL follows SIGTERM after 3 s and 0.7 s at the earliest
 
 
 @dataclass
-class Outcome:
-    """What a client was told."""
-
-    request_class: str
-    request_id: str
-    kind: str  # "whole", "foreign", "nothing", or the error line
-
-
-async def ask(port: int, request_class: str, request_id: str, record: peers.Record) -> Outcome:
-    """Send one request on a connection of its own and wait for its answer until its time is up, with its slack."""
-    reader, writer = await asyncio.open_connection(peers.HOST, port, limit=8 * 1024 * 1024)
-    fields = f"c={request_class},t=dealer,d={DEADLINE_MS},units=1,spread=1,first=0"
-    name = "SVC.QUERY" if request_class == "balance-check" else "SVC.SUBMIT"
-    writer.write(peers.command(name, f"{random.randrange(1, 50):016x}", request_id, fields))
-    started_ms, kind = peers.now_ms(), "nothing"
-    with contextlib.suppress(TimeoutError, OSError, asyncio.IncompleteReadError):
-        # A stream that has begun is subject to no deadline, so the client goes on reading.
-        async with asyncio.timeout(DEADLINE_MS / 1000.0 + 3.0):
-            answer = await peers.read_reply(reader)
-            kind = answer if isinstance(answer, str) else "foreign"
-            if answer == value_of(request_id):
-                kind = "whole"
-    writer.close()
-    record.write(f"client: {request_class} {request_id} after {peers.now_ms() - started_ms:.0f} ms: {kind}")
-    return Outcome(request_class, request_id, kind)
+class Client:
+    """One Diameter connection: sends debits at random moments, answers a DPR at once and then sends no more."""
+
+    name: str
+    record: peers.Record
+    debits: list[peers.Debit] = field(default_factory=list)
+    sending: bool = True
+    writer: asyncio.StreamWriter | None = None
+
+    async def connect(self, port: int) -> asyncio.StreamReader:
+        """Connect and exchange capabilities."""
+        reader, self.writer = await asyncio.open_connection(peers.HOST, port)
+        self.writer.write(peers.capabilities(self.name))
+        answer = await peers.read_message(reader)
+        if answer.result_code() != peers.SUCCESS:
+            raise ConnectionError(f"capabilities exchange: {answer.result_code()}")
+        return reader
+
+    async def send(self, rate: float) -> None:
+        """Send debits until told to stop."""
+        assert self.writer is not None
+        number = 0
+        while True:
+            await asyncio.sleep(random.expovariate(rate))
+            if not self.sending or self.writer.is_closing():
+                return
+            number += 1
+            now_ms = peers.now_ms()
+            debit = peers.Debit(f"{self.name};{number}", random.getrandbits(32), now_ms, int(now_ms / 1000))
+            self.debits.append(debit)
+            self.writer.write(debit.encode(self.name, number))
+            self.record.write(f"client {self.name} sends {debit.session_id}")
+
+    async def receive(self, reader: asyncio.StreamReader) -> None:
+        """Read answers until the connection ends."""
+        assert self.writer is not None
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            while True:
+                message = await peers.read_message(reader)
+                if message.is_request:
+                    self.record.write(f"client {self.name} receives request {message.code}, answers success")
+                    if message.code == peers.DISCONNECT:
+                        self.sending = False
+                    self.writer.write(peers.base_answer(message, self.name))
+                elif message.code == peers.CREDIT_CONTROL:
+                    debit = self.debits[message.hop_by_hop - 1]
+                    debit.answered_ms, debit.result = peers.now_ms(), message.result_code()
+                    self.record.write(f"client {self.name}: {debit.session_id} answered {debit.result}")
+        self.sending = False
+        self.record.write(f"client {self.name}: the connection has ended")
+        self.writer.close()
+
+
+async def cycle(
+    number: int,
+    trouble: bool,
+    gateway: peers.Gateway,
+    proxy: peers.DelayProxy,
+    record: peers.Record,
+) -> list[peers.Debit]:
+    """Start the gateway, send to it, end it as planned; returns the debits."""
+    await gateway.start()
+    if not await gateway.ready():
+        raise CannotRunError(f"the gateway did not start: {gateway.log()[-500:]}")
+    clients = [Client(f"c{number}-{index}.clients.example", record) for index in range(CONNECTIONS)]
+    readers = [await client.connect(proxy.port) for client in clients]
+    receiving = [asyncio.ensure_future(c.receive(r)) for c, r in zip(clients, readers, strict=True)]
+    sending = [asyncio.ensure_future(client.send(REQUESTS_PER_S / CONNECTIONS)) for client in clients]
+    await asyncio.sleep(TRAFFIC_S)
+    if trouble:
+        record.write("SIGTERM to the gateway")
+        gateway.send_signal(signal.SIGTERM)
+        # Clients go on until the gateway ends their connection.
+        await asyncio.wait(receiving, timeout=END_WAIT_S)
+    else:
+        await asyncio.sleep(0.5)
+        for client in clients:
+            client.sending = False
+        await asyncio.wait(sending, timeout=1.0)
+        await asyncio.sleep(2.1)  # the deadline of the class and its slack
+    for task in sending:
+        task.cancel()
+    deadline_s = time.monotonic() + END_WAIT_S
+    while trouble and gateway.running and time.monotonic() < deadline_s:
+        await asyncio.sleep(0.02)
+    record.write(f"gateway's exit code: {gateway.exit_code}")
+    await gateway.kill()
+    await asyncio.wait(receiving, timeout=1.0)
+    return [debit for client in clients for debit in client.debits]
 
 
 async def run(trouble: bool, record: peers.Record, folder: Path) -> bool:
     """Run the case; returns whether the rule held."""
     ledger = peers.Ledger(window_ms=1000.0)
-    servers = [SlowServer(f"s-{index}", ledger, record, trouble) for index in range(4)]
+    servers = [peers.LoadServer(f"s-{index}", ledger, record, WORK_S) for index in range(4)]
     counter = peers.Counter()
     for server in servers:
         await server.start()
     await counter.start()
     discovery = peers.Discovery([peers.listed(server.name, server.port) for server in servers])
     await discovery.start()
-    values = peers.settings(0, 1)
-    values["classes"][1]["idempotency"] = "at_most_once"  # so that no attempt of a load hides the one before
-    gateway = peers.Gateway("n1", folder / "gateway", discovery, counter, values)
-    try:
-        await gateway.start()
-        if not await gateway.ready():
-            raise CannotRunError(f"the gateway did not start: {gateway.log()[-500:]}")
-        asking = []
-        for number in range(REQUESTS):
-            request_class, request_id = CLASSES[number % 2], f"{random.getrandbits(64):016x}"
-            asking.append(asyncio.ensure_future(ask(gateway.listen_port, request_class, request_id, record)))
-            await asyncio.sleep(INTERVAL_S)
-        outcomes = await asyncio.gather(*asking)
-    finally:
-        await gateway.kill()
-    cut_off = {request_id for server in servers for request_id in server.cut_off}
-    lost = [outcome for outcome in outcomes if outcome.kind != "whole" and outcome.request_id in cut_off]
-    for outcome in lost:
-        record.say(
-            f"LOST: {outcome.request_class} {outcome.request_id}: "
-            f"its server was cut off while it answered; the client was told {outcome.kind}"
+    diameter_port = peers.free_port()
+    proxy = peers.DelayProxy(diameter_port, LINK_DELAY_S)
+    await proxy.start()
+    sent = lost = never_read = 0
+    for number in range(CYCLES):
+        gateway = peers.Gateway(
+            "n1", folder / f"cycle-{number}", discovery, counter, peers.settings(0, 2), diameter_port
         )
-    whole = sum(outcome.kind == "whole" for outcome in outcomes)
-    record.say(f"{len(outcomes)} requests, {whole} whole, {len(lost)} cut off by the gateway and not served")
+        try:
+            debits = await cycle(number, trouble, gateway, proxy, record)
+        finally:
+            await gateway.kill()
+        unanswered = [debit for debit in debits if not debit.answered_ms]
+        run_unanswered = [debit for debit in unanswered if ledger.runs_of(debit.session_id.encode())]
+        for debit in run_unanswered:
+            record.say(
+                f"LOST: {debit.session_id} was taken and run, and its connection ended without an answer"
+            )
+        sent, lost = sent + len(debits), lost + len(run_unanswered)
+        never_read += len(unanswered) - len(run_unanswered)
+    record.say(
+        f"{sent} debits sent, {lost} taken, run and never answered, {never_read} that no server has seen unanswered"
+    )
     return not lost
 
 
--- a/review/support/stand_ins.py
+++ b/review/support/stand_ins.py
@@ -83,6 +83,7 @@
 
     def __init__(self) -> None:
         self.port = 0
+        self.tasks: set[asyncio.Task[None]] = set()  # a task without a reference could be collected
         self._server: asyncio.Server | None = None
 
     async def start(self) -> None:
