Review: a case ends every process it started, also when it is killed itself

Cause: run.sh passed no signal on, and a driver that was killed left its gateways running until someone ended them.

--- a/review/support/stand_ins.py
+++ b/review/support/stand_ins.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import ctypes
 import json
 import os
 import signal
@@ -23,6 +24,7 @@
 HOST = "127.0.0.1"
 REPOSITORY = Path(__file__).resolve().parents[2]
 NTP_EPOCH_OFFSET_S = 2_208_988_800
+PR_SET_PDEATHSIG = 1  # of Linux's prctl
 
 
 def now_ms() -> float:
@@ -37,6 +39,11 @@
         return int(probe.getsockname()[1])
 
 
+def end_with_parent(number: signal.Signals) -> None:
+    """Have the system send this process a signal when its parent has ended, however that comes about."""
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, int(number))
+
+
 class Record:
     """The record of a run: lines with the time since its start, written to a file."""
 
@@ -421,6 +428,7 @@
                 stdout=log,
                 stderr=log,
                 pass_fds=inherited,
+                preexec_fn=lambda: end_with_parent(signal.SIGKILL),
             )
 
     async def status(self) -> str:
