Diameter: fail a repeated debit whose first try may have run in another zone

A gateway or connection without room told a repeated debit TOO_BUSY, which promises that nothing ran. Cause: RequestRegister._retransmission_deadline_ms looked at the key's window alone, not at which servers share keys; the gateway cannot know the zone or cell of a first try that another one sent. The limits on the register and on requests in flight rejected without a look at the T flag. Change: a retransmitted debit that is not in the register is sent only in its window and only where every server knows its key (group `all`, or `zone` at a site with one zone); else, and where there is no room, it is failed at once. A stored answer is given even at the limits. Settings.has_single_zone is read from `zones`. Why it works: a repeat goes out only where each server that it may reach drops it.

--- a/badgeryoke/decisions/interface.py
+++ b/badgeryoke/decisions/interface.py
@@ -151,6 +151,7 @@
     slow_start_ms: float = 0.0  # time until a started server has its full capacity
     overload_multiple: float = 1.0  # a server is overloaded by this many times its warm load
     overload_window_ms: float = 0.0  # window within which that load overloads the server
+    has_single_zone: bool = False  # whether all servers are known to be in one zone
 
     def __post_init__(self) -> None:
         _require_at_least(1, gateway_count=self.gateway_count)
@@ -170,6 +171,11 @@
             overload_window_ms=self.overload_window_ms,
         )
 
+    def all_servers_share_keys(self, request_class: RequestClass) -> bool:
+        """Whether every server recognizes a repeat of a class with an idempotency key, wherever the original went."""
+        scope = request_class.deduplication_scope
+        return scope is DeduplicationScope.ALL or (scope is DeduplicationScope.ZONE and self.has_single_zone)
+
 
 @dataclass(frozen=True, slots=True)
 class Server:
--- a/badgeryoke/decisions/settings_parser.py
+++ b/badgeryoke/decisions/settings_parser.py
@@ -212,4 +212,10 @@
         slow_start_ms=rules.number("warm_within_ms"),
         overload_multiple=rules.positive_number("fall_multiple"),
         overload_window_ms=rules.positive_number("overload_for_ms"),
+        has_single_zone=_has_single_zone(settings.get("zones")),
     )
+
+
+def _has_single_zone(zones: object) -> bool:
+    """Whether the list of zone names has at most one: a site may have no zones."""
+    return isinstance(zones, list) and len(zones) <= 1
--- a/badgeryoke/gateway/diameter/client_connection.py
+++ b/badgeryoke/gateway/diameter/client_connection.py
@@ -48,19 +48,25 @@
         request = read_request(message, avps) if fault is None else fault
         if isinstance(request, Fault):
             self.send_fault_answer(message, request, session, proxy_avps)
-        elif self._in_flight_count >= MAX_REQUESTS_IN_FLIGHT:
-            self._in_flight_count += 1  # decremented with the answer
-            self._send_response(message, request, session, proxy_avps, Rejected(CAPACITY_RETRY_AFTER_MS))
         else:
-            submitted = request
-            self._in_flight_count += 1
-            self._listener.register.submit(
-                submitted,
-                bool(message.flags & codec.FLAG_RETRANSMITTED),
-                lambda answer: self.post(
-                    self._send_response, message, submitted, session, proxy_avps, answer
-                ),
-            )
+            self._submit(message, request, session, proxy_avps)
+
+    def _submit(
+        self, message: Message, request: CreditControlRequest, session: Avp | None, proxy_avps: list[Avp]
+    ) -> None:
+        """Pass a request to the register; beyond the limit on requests in flight it is refused."""
+        register = self._listener.register
+        retransmitted = bool(message.flags & codec.FLAG_RETRANSMITTED)
+        full = self._in_flight_count >= MAX_REQUESTS_IN_FLIGHT
+        self._in_flight_count += 1  # decremented with the answer
+
+        def reply(answer: Response | Fault) -> None:
+            self.post(self._send_response, message, request, session, proxy_avps, answer)
+
+        if full:
+            register.refuse(request, retransmitted, CAPACITY_RETRY_AFTER_MS, reply)
+        else:
+            register.submit(request, retransmitted, reply)
 
     def _check_destination(self, avps: list[Avp]) -> Fault | None:
         """Return a fault for a request to another realm or host: this gateway is not a relay agent."""
--- a/badgeryoke/gateway/diameter/request_register.py
+++ b/badgeryoke/gateway/diameter/request_register.py
@@ -39,7 +39,7 @@
 
     def update_settings(self, settings: Settings) -> None:
         """Read the request classes and the number of gateways from the settings."""
-        self._gateway_count = settings.gateway_count
+        self._settings = settings
         self._check_class, self._debit_class = (
             next(
                 (c for c in settings.classes if c.idempotency is idempotency and name in (None, c.name)), None
@@ -56,6 +56,31 @@
         """Call `reply` with the answer, or with a fault; a duplicate gets the answer of the first request."""
         self.post(self._submit, request, retransmitted, reply)
 
+    def refuse(
+        self,
+        request: CreditControlRequest,
+        retransmitted: bool,
+        retry_after_ms: float,
+        reply: Callable[[Response | Fault], None],
+    ) -> None:
+        """Call `reply` with the stored answer if there is one, else with a refusal; nothing is submitted."""
+        self.post(self._refuse, request, retransmitted, retry_after_ms, reply)
+
+    def _refuse(
+        self,
+        request: CreditControlRequest,
+        retransmitted: bool,
+        retry_after_ms: float,
+        reply: Callable[[Response | Fault], None],
+    ) -> None:
+        earlier = self._duplicates.find(request.identity)
+        if isinstance(earlier, Entry) and earlier.answer is not None:
+            reply(earlier.answer)
+        elif earlier is not None:
+            reply(_first_try_may_have_run())
+        else:
+            reply(_refusal(request, retransmitted, retry_after_ms))
+
     def _submit(
         self, request: CreditControlRequest, retransmitted: bool, reply: Callable[[Response | Fault], None]
     ) -> None:
@@ -70,7 +95,7 @@
         elif isinstance(dispatcher_request := self._build_dispatcher_request(request, retransmitted), Fault):
             reply(dispatcher_request)
         elif (entry := self._duplicates.begin(request.identity)) is None:
-            reply(Rejected(CAPACITY_RETRY_AFTER_MS))
+            reply(_refusal(request, retransmitted, CAPACITY_RETRY_AFTER_MS))
         else:
             entry.waiting.append(reply)
             # If the connection closes before the answer, the client retries over another one, so the dispatcher
@@ -99,7 +124,7 @@
         self, request: CreditControlRequest, retransmitted: bool
     ) -> Request | Fault:
         """Build the dispatcher's request; return a fault if it must not be forwarded."""
-        is_debit = request.action == codec.DIRECT_DEBITING
+        is_debit = _is_debit(request)
         request_class = self._debit_class if is_debit else self._check_class
         plan = self._config.plans.get(request.service)
         if request_class is None or plan is None:
@@ -121,7 +146,7 @@
             customer=request.customer,
             remaining_ms=self._config.deadline_ms or request_class.deadline_ms,
             units=float(request.units or 1),
-            gateway_set_size=self._gateway_count,
+            gateway_set_size=self._settings.gateway_count,
             retry=retransmitted,
             idempotency_key=request.identity.idempotency_key() if is_debit else "",
             body=request.body,
@@ -136,15 +161,35 @@
     ) -> float | Fault:
         """The time until which a retransmitted debit may be forwarded, if the original request is not in the register.
 
-        A server drops the duplicate only within its deduplication window. The window is counted from the
-        Event-Timestamp, which is truncated to whole seconds, so it never ends too late.
+        Another gateway may have sent the original to any server. A server that recognizes the key drops the
+        duplicate, so it may be forwarded only if all servers share the keys, and only within the deduplication
+        window. The window is counted from the Event-Timestamp, which is truncated to whole seconds, so it never ends
+        too late.
         """
         event_time_ms = None if request.event_time_s is None else request.event_time_s * 1000.0
-        if event_time_ms is not None:
+        if event_time_ms is not None and self._settings.all_servers_share_keys(request_class):
             send_by_ms = event_time_ms + request_class.deduplication_window_ms
             if event_time_ms <= self._clock() < send_by_ms:
                 return send_by_ms
-        return Fault(
-            ResultCode.UNABLE_TO_COMPLY,
-            "the first try may have run, and is not known here: nothing was sent on",
-        )
+        return _first_try_may_have_run()
+
+
+def _is_debit(request: CreditControlRequest) -> bool:
+    return request.action == codec.DIRECT_DEBITING
+
+
+def _refusal(request: CreditControlRequest, retransmitted: bool, retry_after_ms: float) -> Rejected | Fault:
+    """The answer to a request that is not submitted for lack of room.
+
+    A client takes TOO_BUSY to mean that nothing ran, which is unknown for a retransmitted debit.
+    """
+    if retransmitted and _is_debit(request):
+        return _first_try_may_have_run()
+    return Rejected(retry_after_ms)
+
+
+def _first_try_may_have_run() -> Fault:
+    return Fault(
+        ResultCode.UNABLE_TO_COMPLY,
+        "the first try may have run, and is not known here: nothing was sent on",
+    )
--- a/tests/decisions/test_settings_parser.py
+++ b/tests/decisions/test_settings_parser.py
@@ -356,6 +356,20 @@
     )  # a site without zones
 
 
+@pytest.mark.parametrize(
+    ("zones", "shared"), [(["north", "east"], False), (["north"], True), ([], True), (None, False)]
+)
+def test_keys_of_one_zone_are_known_everywhere_only_where_it_is_the_only_one(
+    zones: list[str] | None, shared: bool
+) -> None:
+    settings = copy.deepcopy(FULL)
+    settings["zones"] = zones
+    parsed = parse_settings(settings)
+    by_zone, by_cell = (cls for cls in parsed.classes if cls.idempotency is api.Idempotency.WITH_KEY)
+    assert parsed.all_servers_share_keys(by_zone) is shared
+    assert parsed.all_servers_share_keys(by_cell) is False
+
+
 def test_an_undocumented_key_is_logged_and_is_not_an_error(
     tmp_path: Path, caplog: pytest.LogCaptureFixture
 ) -> None:
--- a/tests/gateway/diameter/test_diameter.py
+++ b/tests/gateway/diameter/test_diameter.py
@@ -5,7 +5,6 @@
 import asyncio
 import struct
 import time
-from collections.abc import Awaitable, Callable
 from dataclasses import replace
 from typing import Any, cast
 
@@ -22,6 +21,7 @@
 from badgeryoke.gateway.diameter.peer import PeerIdentity as PeerIdentity
 from badgeryoke.gateway.diameter.upstream_connection import DiameterUpstream
 from badgeryoke.gateway.wall_clock import WallClock
+from tests.support.diameter_clients import open_peer, send, with_gateway
 from tests.support.dispatcher_bench import FakeLoop
 from tests.support.running import run_test, send_commands, until
 from tests.support.stand_ins import (
@@ -32,7 +32,6 @@
     Counter,
     DiameterServer,
     Discovery,
-    ReceivedMessage,
     RequestLedger,
     avp,
     avps,
@@ -51,33 +50,6 @@
     read_reply,
 )
 
-Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
-
-
-def with_gateway(
-    test: Callable[[GatewayApplication, Any], Awaitable[None]], kind: str = "std", script: Any = None
-) -> None:
-    """Run a test against one gateway and one server of a kind: `std` (RESP2) or `diameter`."""
-
-    async def run() -> None:
-        async with one_gateway(script=script, kind=kind, diameter=True) as (app, server, _):
-            await test(app, server)
-
-    run_test(run)
-
-
-async def open_peer(app: GatewayApplication, host: str = "pos.example") -> Streams:
-    reader, writer = await connect(app.lifecycle.diameter_address)
-    writer.write(cer(host))
-    cea = await read_message(reader)
-    assert (cea.command, cea.flags, cea.result, cea.avps[264]) == (257, 0, 2001, b"gw0.yoke.example")
-    return reader, writer
-
-
-async def send(peer: Streams, *sent: bytes) -> list[ReceivedMessage]:
-    peer[1].write(b"".join(sent))
-    return [await read_message(peer[0]) for _ in sent]
-
 
 def test_an_event_request_is_served_with_the_standard_avps() -> None:
     async def test(app: GatewayApplication, backend: Backend) -> None:
