Diameter: close a connection only when no request is in flight on it

Cause: Peer closed when its output was written, whatever was in flight. The close was set by a Disconnect-Peer-Answer, by the peer's own Disconnect-Peer-Request (clients and servers), by a framing error, and by 5 s without an answer. Change: these only ask for the close; it comes when nothing is in flight, unwritten or unread. A client's DPR is answered behind its debits; a server's leaves its connection open for what it was sent, and further attempts use another one. 1 s after a drain began, and when the shutdown's time is over, new requests are refused at once; a connection without a capabilities exchange ends after 0.5 s. Why it works: what the client wrote before its DPA lies before it in the stream, so it is in flight when the DPA is read.

--- a/badgeryoke/gateway/connecting.py
+++ b/badgeryoke/gateway/connecting.py
@@ -39,6 +39,14 @@
         stream.set_close_callback(callback)
 
 
+def has_unread_data(stream: IOStream) -> bool:
+    """Whether the socket has unread bytes, which may be a request that the peer has sent."""
+    try:
+        return bool(stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+    except OSError:
+        return False
+
+
 async def pump(stream: IOStream, receive: Callable[[bytes], None]) -> None:
     """Pass received bytes to `receive` until the connection ends; the only coroutine that a connection needs."""
     try:
--- a/badgeryoke/gateway/diameter/client_connection.py
+++ b/badgeryoke/gateway/diameter/client_connection.py
@@ -10,7 +10,7 @@
 from badgeryoke.gateway.diameter.codec import Avp, Fault, Message
 from badgeryoke.gateway.diameter.credit_control_request import CreditControlRequest, read_request
 from badgeryoke.gateway.diameter.dictionary import AvpCode, ResultCode
-from badgeryoke.gateway.diameter.peer import Peer
+from badgeryoke.gateway.diameter.peer import Peer, PeerState
 from badgeryoke.gateway.diameter.request_register import CAPACITY_RETRY_AFTER_MS
 from badgeryoke.gateway.responses import Failed, Rejected, Response, Served
 
@@ -19,6 +19,10 @@
 
 ENOUGH_CREDIT = 0  # a value of Check-Balance-Result
 MAX_REQUESTS_IN_FLIGHT = 1024  # maximum per connection
+# While a connection drains, requests are accepted for DRAIN_GRACE_S; later ones are refused at once, so that a client
+# that never stops sending is disconnected too.  A new connection has EXCHANGE_GRACE_S for the capabilities exchange.
+DRAIN_GRACE_S, EXCHANGE_GRACE_S = 1.0, 0.5
+DRAIN_RETRY_AFTER_MS = 1.0  # another gateway may be asked at once
 
 
 class DiameterClientConnection(Peer):
@@ -28,7 +32,13 @@
         super().__init__(stream, listener.identity, listener.loop, listener.config.watchdog_s)
         self._listener = listener
         self._in_flight_count = 0
-        self._draining = False
+        self._draining = False  # disconnects as soon as no request is in flight
+        self._refusing = False  # new requests are not submitted
+
+    @property
+    def has_requests_in_flight(self) -> bool:
+        """Whether requests of the client are unanswered."""
+        return self._in_flight_count > 0
 
     def accepts_peer(self, host: str) -> bool:
         """Whether the Origin-Host may connect; any host may if the configuration lists no clients."""
@@ -54,7 +64,7 @@
     def _submit(
         self, message: Message, request: CreditControlRequest, session: Avp | None, proxy_avps: list[Avp]
     ) -> None:
-        """Pass a request to the register; beyond the limit on requests in flight it is refused."""
+        """Pass a request to the register; at the limit on requests in flight, or at the end, it is refused."""
         register = self._listener.register
         retransmitted = bool(message.flags & codec.FLAG_RETRANSMITTED)
         full = self._in_flight_count >= MAX_REQUESTS_IN_FLIGHT
@@ -63,7 +73,9 @@
         def reply(answer: Response | Fault) -> None:
             self.post(self._send_response, message, request, session, proxy_avps, answer)
 
-        if full:
+        if self._refusing or self._close_requested:
+            register.refuse(request, retransmitted, DRAIN_RETRY_AFTER_MS, reply)
+        elif full:
             register.refuse(request, retransmitted, CAPACITY_RETRY_AFTER_MS, reply)
         else:
             register.submit(request, retransmitted, reply)
@@ -108,18 +120,40 @@
                 self.send_fault_answer(
                     message, Fault(ResultCode.UNABLE_TO_COMPLY, detail), session, proxy_avps
                 )
-        if self._draining and not self._in_flight_count:
-            self.disconnect(codec.REBOOTING)
+        self._disconnect_if_drained()
 
     def drain(self) -> None:
-        """Disconnect as soon as no request is in flight."""
+        """Disconnect as soon as no request is in flight; what the client sent until then is answered."""
         self.post(self._drain)
 
     def _drain(self) -> None:
+        if self._draining:
+            return
         self._draining = True
-        if not self._in_flight_count:
+        self._loop.call_later(DRAIN_GRACE_S, self.deliver, self._refuse_new_requests)
+        if self.state is PeerState.WAIT_EXCHANGE:
+            self._loop.call_later(EXCHANGE_GRACE_S, self.deliver, self._exchange_grace_expired)
+        self._disconnect_if_drained()
+
+    def _disconnect_if_drained(self) -> None:
+        if self._draining and not self.has_requests_in_flight:
             self.disconnect(codec.REBOOTING)
 
+    def capabilities_exchanged(self) -> None:
+        """Disconnect from a client that connected while the gateway drains."""
+        self._disconnect_if_drained()
+
+    def _exchange_grace_expired(self) -> None:
+        if self.state is PeerState.WAIT_EXCHANGE:
+            self._close_requested = True
+
+    def refuse_new_requests(self) -> None:
+        """Answer further requests at once, without submitting them."""
+        self.post(self._refuse_new_requests)
+
+    def _refuse_new_requests(self) -> None:
+        self._refusing = True
+
     def connection_closed(self) -> None:
         """Remove this connection from the listener."""
         self._listener.connection_closed(self)
--- a/badgeryoke/gateway/diameter/peer.py
+++ b/badgeryoke/gateway/diameter/peer.py
@@ -10,7 +10,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from badgeryoke.gateway.actor import Actor, ActorScheduler
-from badgeryoke.gateway.connecting import on_close, pump
+from badgeryoke.gateway.connecting import has_unread_data, on_close, pump
 from badgeryoke.gateway.diameter import codec
 from badgeryoke.gateway.diameter.capabilities import check_capabilities
 from badgeryoke.gateway.diameter.codec import Avp, Fault, Message
@@ -19,6 +19,7 @@
 log = logging.getLogger(__name__)
 
 EXCHANGE_TIMEOUT_S = 5.0  # applies to the capabilities exchange and to the answer to a DPR
+CLOSE_CHECK_INTERVAL_S = 0.01  # time between checks of whether a connection may be closed
 WATCHDOG_JITTER_S = 2.0  # as RFC 3539 specifies
 PROTOCOL_ERRORS = range(3000, 4000)  # answers with these result codes have the E bit set
 
@@ -38,12 +39,16 @@
 
     WAIT_EXCHANGE = "wait for CER or CEA"
     OPEN = "open"
-    CLOSING = "wait for DPA"
+    CLOSING = "a DPR was sent or received"
     CLOSED = "closed"
 
 
 class Peer(Actor):
-    """One connection; subclasses for clients and for servers add credit control."""
+    """One connection; subclasses for clients and for servers add credit control.
+
+    After a disconnect by either side, and after an invalid message, the connection stays open until no request is in
+    flight on it.
+    """
 
     expects_cer = True  # the peer opened the connection and so sends the CER; False: it sends the CEA
 
@@ -59,7 +64,10 @@
         self._outgoing: list[bytes] = []
         self._watchdog_s = watchdog_s
         self._watchdog_pending = False  # a Device-Watchdog-Request is unanswered
-        self._close_after_write = False  # close once the outgoing messages are written
+        self._input_ended = False  # further messages are ignored
+        self._close_requested = False  # close once nothing is in flight, unwritten or unread
+        self._close_check_scheduled = False
+        self._disconnect_request: Message | None = None  # the peer's DPR, until it is answered
         self._next_id = random.getrandbits(32)
         on_close(stream, lambda: self.post(self._stream_closed))
         loop.call_later(EXCHANGE_TIMEOUT_S, self.deliver, self._exchange_timed_out)
@@ -85,6 +93,14 @@
     def connection_closed(self) -> None:
         """Called when the connection has closed."""
 
+    def disconnect_requested(self) -> None:
+        """Called when the peer has sent a Disconnect-Peer-Request."""
+
+    @property
+    def has_requests_in_flight(self) -> bool:
+        """Whether requests on this connection wait for an answer that can still come."""
+        return False
+
     def accepts_peer(self, host: str) -> bool:
         """Whether a peer with this Origin-Host may connect."""
         return bool(host) and host.isascii() and host.isprintable() and host != self.identity.host
@@ -99,6 +115,7 @@
         """Write the queued messages with one call, then close the connection if that was requested."""
         if self.stream.closed():
             return
+        self._answer_disconnect_request()
         if self._outgoing:
             data, self._outgoing = b"".join(self._outgoing), []
             try:
@@ -109,14 +126,36 @@
                 log.warning("peer %s reads too slowly, connection closed: %s", self.origin_host or "?", fault)
                 self.stream.close()
                 return
-        if self._close_after_write:
-            self._close_when_flushed()
-
-    def _close_when_flushed(self) -> None:
-        if self.stream.writing():
-            self._loop.call_later(0.01, self.deliver, self._close_when_flushed)
-        else:
+        if self._close_requested and not self.has_requests_in_flight:
+            self._close_when_finished()
+
+    def _answer_disconnect_request(self) -> None:
+        """Answer the peer's DPR behind the answers to its requests: it may close as soon as it has the DPA."""
+        request = self._disconnect_request
+        if request is not None and not self.has_requests_in_flight:
+            self._disconnect_request = None
+            self.send_answer(request, ResultCode.SUCCESS, [])
+            self._close_requested = True
+
+    def _close_when_finished(self) -> None:
+        """Close, unless bytes are unwritten or may hold a request; then the check is repeated."""
+        if not self.stream.writing() and (self._input_ended or not self._has_unhandled_input):
             self.stream.close()
+        elif not self._close_check_scheduled:
+            self._close_check_scheduled = True
+            self._loop.call_later(CLOSE_CHECK_INTERVAL_S, self.deliver, self._check_close)
+
+    @property
+    def _has_unhandled_input(self) -> bool:
+        """Whether received bytes may not have been handled yet: in the socket, or read in this loop iteration."""
+        return not self.stream.reading() or has_unread_data(self.stream)
+
+    def _check_close(self) -> None:
+        self._close_check_scheduled = False  # `batch_ended` follows and checks again
+
+    def _end_input(self) -> None:
+        """Ignore further messages, and close once the requests in flight are answered."""
+        self._input_ended = self._close_requested = True
 
     def origin_avps(self) -> list[Avp]:
         """Origin-Host and Origin-Realm of this gateway."""
@@ -166,15 +205,15 @@
     def _receive(self, data: bytes) -> None:
         self.last_received_s = self._loop.time()
         for message in self._framer.feed(data):
-            if self._close_after_write:
+            if self._input_ended:
                 return
             self._dispatch(message)
-        if self._framer.fault is not None and not self._close_after_write:
+        if self._framer.fault is not None and not self._input_ended:
             fault, header = self._framer.fault
             log.warning("peer %s: %s, connection closed", self.origin_host or "?", fault.text)
             if header.is_request and self.state is PeerState.OPEN:
                 self.send_fault_answer(header, fault)
-            self._close_after_write = True
+            self._end_input()
 
     def _dispatch(self, message: Message) -> None:
         avps = codec.read_avps(message.body)
@@ -186,7 +225,7 @@
                 self.expects_cer,
             ):
                 log.warning("peer sent command %d before the capabilities exchange", message.command_code)
-                self._close_after_write = True
+                self._end_input()
             else:
                 self._exchange_capabilities(message, avps)
         elif message.command_code == CommandCode.CREDIT_CONTROL:
@@ -207,14 +246,14 @@
         if message.command_code == CommandCode.DEVICE_WATCHDOG:
             self._watchdog_pending = False
         elif message.command_code == CommandCode.DISCONNECT_PEER:
-            self._close_after_write = True
+            self._close_requested = True
 
     def _answer_base_request(self, message: Message) -> None:
         if message.command_code == CommandCode.DEVICE_WATCHDOG:
             self.send_answer(message, ResultCode.SUCCESS, [self._origin_state_avp()])
         elif message.command_code == CommandCode.DISCONNECT_PEER:
-            self.send_answer(message, ResultCode.SUCCESS, [])
-            self.state, self._close_after_write = PeerState.CLOSING, True
+            self.state, self._disconnect_request = PeerState.CLOSING, message
+            self.disconnect_requested()
         elif message.command_code == CommandCode.CAPABILITIES_EXCHANGE:
             self.send_fault_answer(message, Fault(ResultCode.UNABLE_TO_COMPLY, "capabilities were exchanged"))
         else:
@@ -227,7 +266,7 @@
             log.warning("peer %.80r: capabilities exchange failed: %s", host, fault.text)
             if message.is_request:
                 self.send_fault_answer(message, fault)
-            self._close_after_write = True
+            self._end_input()
             return
         self.origin_host = host
         if message.is_request:
@@ -269,16 +308,26 @@
             self.stream.close()
 
     def disconnect(self, cause: int) -> None:
-        """Send a Disconnect-Peer-Request; close when it is answered, or after a timeout."""
+        """Send a Disconnect-Peer-Request; close when it is answered, or after a timeout.
+
+        Requests that the peer sent before it received the DPR arrive before its answer, and are answered as well.
+        """
         if self.state is not PeerState.OPEN:
-            self._close_after_write = True
             return
         self.state = PeerState.CLOSING
         self.send_request(
             CommandCode.DISCONNECT_PEER,
             [*self.origin_avps(), codec.unsigned32_avp(AvpCode.DISCONNECT_CAUSE, cause)],
         )
-        self._loop.call_later(EXCHANGE_TIMEOUT_S, self.stream.close)
+        self._loop.call_later(EXCHANGE_TIMEOUT_S, self.deliver, self._disconnect_timed_out)
+
+    def _disconnect_timed_out(self) -> None:
+        """Close without a DPA, but not before the requests in flight are answered."""
+        if self.has_requests_in_flight:
+            self._end_input()
+            self._loop.call_later(EXCHANGE_TIMEOUT_S, self.deliver, self._disconnect_timed_out)
+        else:
+            self.stream.close()
 
     def _stream_closed(self) -> None:
         if self.state is PeerState.CLOSED:
--- a/badgeryoke/gateway/diameter/upstream_connection.py
+++ b/badgeryoke/gateway/diameter/upstream_connection.py
@@ -41,6 +41,15 @@
         self._unwritten: list[Attempt] = []  # the attempts of the current batch
         self.last_used_s = loop.time()
 
+    @property
+    def has_requests_in_flight(self) -> bool:
+        """Whether attempts wait for an answer that can still come."""
+        return bool(self.in_flight) and not self._input_ended
+
+    def disconnect_requested(self) -> None:
+        """Notify the owner, which sends further attempts over another connection."""
+        self._owner.post(self._owner.connection_closing, self)
+
     def capabilities_exchanged(self) -> None:
         """Notify the owner, which sends the attempts that wait for the connection."""
         self._owner.post(self._owner.connection_opened, self)
@@ -161,6 +170,8 @@
         self._connect_ms, self._watchdog_s = connect_ms, watchdog_s
         self._idle_s = idle_ms * IDLE_FRACTION / 1000.0
         self._connection: UpstreamPeer | None = None
+        # Connections that the server closes once it has answered the attempts in flight on them.
+        self._closing_connections: dict[UpstreamPeer, None] = {}
         self._waiting: list[Attempt] = []
         self.draining = False
         self._fault_logged = False
@@ -220,8 +231,16 @@
             if not attempt.ended:
                 connection.post(connection.write, attempt)
 
+    def connection_closing(self, connection: UpstreamPeer) -> None:
+        """Use another connection for further attempts than this one, which the server is about to close."""
+        if connection is self._connection:
+            self._closing_connections[connection] = None
+            self._connection = None
+            self._connect_if_needed()
+
     def connection_closed(self, connection: UpstreamPeer) -> None:
         """Reconnect for the waiting attempts if the connection had been open; fail them otherwise."""
+        self._closing_connections.pop(connection, None)
         if connection is not self._connection:
             return
         self._connection = None
@@ -240,15 +259,23 @@
     @property
     def connections_needed(self) -> int:
         """See badgeryoke.gateway.cluster.upstream_lease.LeasedUpstream."""
-        return int(bool(self._waiting) or (self._connection is not None and bool(self._connection.in_flight)))
+        closing = sum(1 for connection in self._closing_connections if connection.in_flight)
+        return closing + int(
+            bool(self._waiting) or (self._connection is not None and bool(self._connection.in_flight))
+        )
 
     def close_connections(self, count: int, include_in_use: bool) -> None:
         """See badgeryoke.gateway.cluster.upstream_lease.LeasedUpstream."""
-        self.post(self._close_connection, include_in_use)
-
-    def _close_connection(self, include_in_use: bool) -> None:
-        connection = self._connection
-        if connection is not None and (include_in_use or not connection.in_flight):
+        self.post(self._close_connections, count, include_in_use)
+
+    def _close_connections(self, count: int, include_in_use: bool) -> None:
+        current = () if self._connection is None else (self._connection,)
+        candidates = [
+            connection
+            for connection in (*self._closing_connections, *current)
+            if include_in_use or not connection.in_flight
+        ]
+        for connection in candidates[:count]:
             connection.stream.close()
 
     def capacity_available(self) -> None:
--- a/badgeryoke/gateway/lifecycle.py
+++ b/badgeryoke/gateway/lifecycle.py
@@ -284,10 +284,17 @@
         loop = self._parts.loop
         allowed_s = min(self._parts.longest_deadline_ms / 1000.0, MAX_COUNTED_DEADLINE_S) + KILL_MARGIN_S
         remaining_s = max(self._terminated_at_s + allowed_s - loop.time(), 0.0)
-        loop.call_later(remaining_s, self._parts.resp_listener.reject_new_requests)
+        loop.call_later(remaining_s, self._reject_new_requests)
         loop.call_later(remaining_s, self._answer_all_now)
         self._poll_connections()
 
+    def _reject_new_requests(self) -> None:
+        """Reject requests from now on: they could not be answered before the process ends."""
+        self._parts.resp_listener.reject_new_requests()
+        if self._parts.diameter_listener is not None:
+            for peer in list(self._parts.diameter_listener.connections):
+                peer.refuse_new_requests()
+
     def _answer_all_now(self) -> None:
         """Give all pending requests their final response shortly before SIGKILL.
 
--- a/badgeryoke/gateway/resp/client_connection.py
+++ b/badgeryoke/gateway/resp/client_connection.py
@@ -17,6 +17,7 @@
 
 from badgeryoke.gateway.actor import Actor, ActorScheduler
 from badgeryoke.gateway.attempt import Request, parse_customer
+from badgeryoke.gateway.connecting import has_unread_data
 from badgeryoke.gateway.dispatcher import Dispatcher
 from badgeryoke.gateway.resp.codec import (
     MAX_BULK_BYTES,
@@ -116,14 +117,6 @@
     return error(f"ERR failed {response.detail}")
 
 
-def _has_unread_data(stream: IOStream) -> bool:
-    """Whether the socket has unread bytes, which may be a request that the client has sent."""
-    try:
-        return bool(stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
-    except OSError:
-        return False
-
-
 def _peer_has_closed(stream: IOStream) -> bool:
     """Whether the client has closed its sending side, even if unread bytes precede the FIN."""
     if stream.closed():  # a closed stream still returns its buffered bytes
@@ -191,7 +184,7 @@
         if self._stream.closed() or self._slots or self._mailbox or not self._parser.is_idle or self._closing:
             return False
         return (
-            not self._stream.writing() and not self._has_unhandled_data and not _has_unread_data(self._stream)
+            not self._stream.writing() and not self._has_unhandled_data and not has_unread_data(self._stream)
         )
 
     @property
@@ -234,7 +227,7 @@
         """
         if self._slots:
             self.drain_now()
-        elif not self._has_unhandled_data and not _has_unread_data(self._stream):
+        elif not self._has_unhandled_data and not has_unread_data(self._stream):
             self._stream.close()
 
     def reject(self) -> None:
@@ -427,7 +420,7 @@
             return  # _write_finished() causes another turn
         if not self._input_ended and (
             self._has_unhandled_data
-            or (not self._grace_expired and (not self._parser.is_idle or _has_unread_data(self._stream)))
+            or (not self._grace_expired and (not self._parser.is_idle or has_unread_data(self._stream)))
         ):
             return  # requests sent before the close are read and answered, and that turn calls this method again
         if not self._output_ended:
--- a/tests/support/stand_ins.py
+++ b/tests/support/stand_ins.py
@@ -339,6 +339,30 @@
     return avp(55, int(ms / 1000) + NTP_EPOCH_OFFSET_S)
 
 
+SERVER_IDENTITY = avp(264, "node.example") + avp(296, "yoke.example")
+
+
+def _units(request: ReceivedMessage) -> int:
+    units: int = struct.unpack(">Q", avps(request.avps[437])[417])[0]
+    return units
+
+
+def credit_control_answer(request: ReceivedMessage, result: int = 2001) -> bytes:
+    """Encode a server's answer to a Credit-Control-Request."""
+    body = (
+        avp(263, request.avps[263])
+        + avp(268, result)
+        + SERVER_IDENTITY
+        + avp(258, 4)
+        + avp(416, 4)
+        + avp(415, request.avps[415])
+        + avp(431, avp(417, struct.pack(">Q", _units(request))))
+        + avp(440, avp(441, 1) + avp(442, "value"))
+    )
+    flags = 0x60 if 3000 <= result < 4000 else 0x40
+    return message(flags, 272, 4, request.hop, request.end, body)
+
+
 class DiameterServer(Standin):
     """A credit-control server; its Result-Codes come from `script`, then 2001.  None: no answer."""
 
@@ -351,37 +375,23 @@
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Answer the requests of one connection."""
-        base = avp(264, "node.example") + avp(296, "yoke.example")
         while True:
             request = await read_message(reader)
             if request.command == 272:
                 self.received.append(request)
                 customer = int(avps(request.avps[443])[444], 16)
-                units = struct.unpack(">Q", avps(request.avps[437])[417])[0]
                 keyed = request.avps[436] == b"\0\0\0\0"
                 self.ledger.record(
-                    customer, units, request.avps[263].decode().split(";")[-1] if keyed else ""
+                    customer, _units(request), request.avps[263].decode().split(";")[-1] if keyed else ""
                 )
                 result = self.script.pop(0) if self.script else 2001
-                if result is None:
-                    continue
-                body = (
-                    avp(263, request.avps[263])
-                    + avp(268, result)
-                    + base
-                    + avp(258, 4)
-                    + avp(416, 4)
-                    + avp(415, request.avps[415])
-                    + avp(431, avp(417, struct.pack(">Q", units)))
-                    + avp(440, avp(441, 1) + avp(442, "value"))
-                )
-                flags = 0x60 if 3000 <= result < 4000 else 0x40
-            else:
-                if request.command == 282:
-                    self.disconnect_requested.set()
-                body, flags = avp(268, 2001) + base + (avp(258, 4) if request.command == 257 else b""), 0
-            app = 4 if request.command == 272 else 0
-            writer.write(message(flags, request.command, app, request.hop, request.end, body))
+                if result is not None:
+                    writer.write(credit_control_answer(request, result))
+                continue
+            if request.command == 282:
+                self.disconnect_requested.set()
+            body = avp(268, 2001) + SERVER_IDENTITY + (avp(258, 4) if request.command == 257 else b"")
+            writer.write(message(0, request.command, 0, request.hop, request.end, body))
 
 
 # A gateway --------------------------------------------------------------------------------------------
