--- a/badgeryoke/gateway/lifecycle.py
+++ b/badgeryoke/gateway/lifecycle.py
@@ -17,6 +17,7 @@
 from tornado.netutil import bind_sockets
 
 from badgeryoke.gateway.address import Address
+from badgeryoke.gateway.diameter.listener import BACKLOG as DIAMETER_BACKLOG
 from badgeryoke.gateway.graceful_shutdown import (
     GracefulShutdown,
     ShutdownEffect,
@@ -40,7 +41,6 @@
 LAG_SAMPLE_INTERVAL_S = 0.01
 POLL_INTERVAL_S = 0.02  # time between checks of a condition that the shutdown waits for
 FAST_POLL_INTERVAL_S = 0.01  # the same interval at start and while leaving the cluster
-DIAMETER_BACKLOG = 128
 ADMIN_BACKLOG = 64
 # SIGKILL follows SIGTERM no sooner than after the longest deadline, counted as at most 3 s, plus 0.7 s.  Requests that
 # were accepted after SIGTERM still have their full deadline.
--- a/tests/gateway/diameter/test_disconnect.py
+++ b/tests/gateway/diameter/test_disconnect.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import socket
 from collections.abc import Callable
 
 import pytest
@@ -9,7 +11,7 @@
 from badgeryoke.gateway.application import GatewayApplication
 from badgeryoke.gateway.diameter import client_connection
 from badgeryoke.gateway.graceful_shutdown import ShutdownEvent
-from tests.support.diameter_clients import open_peer, send, with_gateway
+from tests.support.diameter_clients import Streams, open_peer, send, with_gateway
 from tests.support.running import until
 from tests.support.stand_ins import (
     Backend,
@@ -17,6 +19,7 @@
     ReceivedMessage,
     avp,
     ccr,
+    cer,
     connect,
     credit_control_answer,
     message,
@@ -143,6 +146,28 @@
     with_gateway(test, script=[None])
 
 
+def test_a_client_that_connects_while_the_gateway_is_paused_is_told_to_disconnect() -> None:
+    """Guards against a close without a word, with a debit that was sent behind the CER."""
+
+    async def test(app: GatewayApplication, backend: Backend) -> None:
+        app.pause()
+        await until(lambda: app.drained)
+        reader, writer = await connect(app.lifecycle.diameter_address)
+        writer.write(cer() + ccr(9))
+        answers = [await read_message(reader) for _ in range(3)]
+        assert [answer.command for answer in answers] == [CAPABILITIES_EXCHANGE, DISCONNECT, CREDIT_CONTROL]
+        assert answers[2].result == SERVED
+        writer.write(disconnect_answer(answers[1]))
+        assert await reader.read() == b""
+        app.resume()
+        again = await open_peer(app)
+        [served] = await send(again, ccr(10))
+        assert served.result == SERVED
+        again[1].close()
+
+    with_gateway(test)
+
+
 def test_a_silent_connection_does_not_delay_the_end(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against a restart that waits for a client which never exchanges capabilities."""
     monkeypatch.setattr(client_connection, "EXCHANGE_GRACE_S", 0.0)
@@ -158,6 +183,22 @@
     with_gateway(test)
 
 
+def test_connections_in_the_accept_queue_are_served_when_the_listener_stops() -> None:
+    """Guards against a reset of connections that the kernel has accepted and the gateway has not."""
+
+    async def test(app: GatewayApplication, _: Backend) -> None:
+        assert app.parts.diameter_listener is not None
+        client = socket.create_connection(app.lifecycle.diameter_address)  # in one turn with `stop`
+        app.parts.diameter_listener.stop()
+        assert len(app.parts.diameter_listener.connections) == 1
+        peer: Streams = await asyncio.open_connection(sock=client)
+        [cea, served] = await send(peer, cer(), ccr(9))
+        assert (cea.command, served.result) == (CAPABILITIES_EXCHANGE, SERVED)
+        peer[1].close()
+
+    with_gateway(test)
+
+
 def test_a_server_that_disconnects_still_answers_what_it_was_sent() -> None:
     """Guards against a request cut off at its server, which then runs again or fails, where the server ends in order."""
 
