Replacement: listen for Diameter clients beside the process that is replaced

Cause: Lifecycle.start bound the Diameter address at once; the platform hands over the RESP2 socket only. Change: a process with a socket from the platform binds with SO_REUSEPORT, after it has its predecessor's state; where the other process does not share its port it waits for it to stop. Without a socket from the platform the error stays an end. Why it works: both may listen during the overlap, and the old one empties its accept queue before it closes.

--- a/badgeryoke/gateway/lifecycle.py
+++ b/badgeryoke/gateway/lifecycle.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import logging
 import math
 import os
@@ -84,9 +85,9 @@
             self._start_admin_server(operations, parts.config.mgmt)
         if parts.config.socket_fd is None or parts.config.folder is None:
             self._listen()
+            self._listen_for_diameter()
         else:
             self._run_task(self._succeed_predecessor(parts.config.folder))
-        self._start_diameter()
         parts.loop.call_later(UPSTREAM_SWEEP_INTERVAL_S, self._sweep_upstreams)
         parts.loop.call_later(CLIENT_SWEEP_INTERVAL_S, self._sweep_clients)
         self._sample_lag(parts.loop.time())
@@ -128,13 +129,27 @@
         self._run_task(self._admin_server.serve(sockets))
         log.info("admin calls are accepted on %s:%d", host, port)
 
-    def _start_diameter(self) -> None:
+    def _listen_for_diameter(self, is_retry: bool = False) -> None:
+        """Start to accept Diameter clients, if that is configured.
+
+        The platform holds no Diameter socket, so a process that replaces another listens beside it on the same port
+        until that one stops.
+        """
         parts = self._parts
-        if parts.diameter_listener is None or parts.config.diameter is None:
+        if parts.diameter_listener is None or parts.config.diameter is None or self.shutdown.ending:
             return
         if (address := parts.config.diameter.listen) is None:
             return
-        sockets = bind_sockets(address[1], address[0], backlog=DIAMETER_BACKLOG)
+        may_succeed = parts.config.socket_fd is not None
+        try:
+            sockets = bind_sockets(address[1], address[0], backlog=DIAMETER_BACKLOG, reuse_port=may_succeed)
+        except OSError as fault:
+            if not may_succeed or fault.errno != errno.EADDRINUSE:
+                raise
+            if not is_retry:
+                log.warning("Diameter address %s:%d is in use: waiting for its owner to stop", *address)
+            parts.loop.call_later(POLL_INTERVAL_S, self._listen_for_diameter, True)
+            return
         self.diameter_address = sockets[0].getsockname()
         parts.diameter_listener.add_sockets(sockets)
         log.info("Diameter listens on %s:%d", *address)
@@ -186,6 +201,7 @@
         if self.shutdown.ending:
             return
         self._listen()
+        self._listen_for_diameter()
         self.snapshot_sender = transfer.SnapshotSender(path, self)
         await self.snapshot_sender.listen()
         await receiver.confirm_serving(lambda: parts.resp_listener.limit_connections(1.0))
--- a/tests/gateway/test_hot_restart.py
+++ b/tests/gateway/test_hot_restart.py
@@ -13,14 +13,17 @@
 from typing import Any
 
 import pytest
+from tornado.netutil import bind_sockets
 
 from badgeryoke.decisions import interface as api
 from badgeryoke.decisions import state_snapshot
+from badgeryoke.gateway import lifecycle
 from badgeryoke.gateway.application import GatewayApplication
 from badgeryoke.gateway.config.model import Config
 from badgeryoke.gateway.graceful_shutdown import ShutdownState
 from badgeryoke.gateway.hot_restart import transfer
 from tests.support import samples
+from tests.support.diameter_clients import open_peer, send
 from tests.support.running import run_test, until
 from tests.support.stand_ins import (
     HOST,
@@ -28,11 +31,15 @@
     Backend,
     Counter,
     Discovery,
+    avp,
+    ccr,
     config,
     connect,
     endpoint_snapshot,
     entry,
+    message,
     query,
+    read_message,
     read_reply,
 )
 
@@ -205,6 +212,55 @@
     run_test(test)
 
 
+async def listens(address: tuple[str, int]) -> bool:
+    """Whether something accepts connections at an address."""
+    try:
+        _, writer = await connect(address)
+    except ConnectionRefusedError:
+        return False
+    writer.close()
+    return True
+
+
+@pytest.mark.parametrize("shares_port", [True, False])
+def test_a_successor_takes_over_the_diameter_clients(
+    shares_port: bool, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a successor that crashes since the running process listens for Diameter clients."""
+    with socket.create_server((HOST, 0)) as reserved:
+        port = reserved.getsockname()[1]
+
+    def bind_alone(*arguments: Any, **options: Any) -> Any:
+        """Bind as a build does that does not share its port."""
+        return bind_sockets(*arguments, **{**options, "reuse_port": False})
+
+    async def test() -> None:
+        async with gateway_environment(tmp_path) as (environment, backend, _):
+            diameter = config(1, None, diameter=True).diameter
+            assert diameter is not None
+            gateway_config = replace(environment, diameter=replace(diameter, listen=(HOST, port)))
+            if not shares_port:
+                monkeypatch.setattr(lifecycle, "bind_sockets", bind_alone)
+            predecessor = await start_gateway(gateway_config)
+            monkeypatch.setattr(lifecycle, "bind_sockets", bind_sockets)
+            reader, writer = await open_peer(predecessor)
+            [served] = await send((reader, writer), ccr(1))
+            successor = await start_gateway(gateway_config)
+            disconnect_request = await read_message(reader)
+            writer.write(message(0, 282, 0, disconnect_request.hop, disconnect_request.end, avp(268, 2001)))
+            assert await reader.read() == b""
+            await shut_down(predecessor)
+            while not await listens((HOST, port)):
+                await asyncio.sleep(0)
+            again = await open_peer(successor)
+            [other] = await send(again, ccr(2))
+            assert [served.result, other.result] == [2001, 2001] and len(backend.commands) == 2
+            again[1].close()
+            await shut_down(successor)
+
+    run_test(test)
+
+
 @pytest.mark.parametrize("sent_lines", [TAKE, TAKE + b"NONSENSE\n", b"TAKE 9\n", b"x" * 2000])
 def test_a_failed_transfer_leaves_the_predecessor_serving(sent_lines: bytes, tmp_path: Path) -> None:
     async def test() -> None:
