Diameter: begin no attempt for a client that has left

Cause: RequestRegister told the dispatcher nothing of a closed connection, so that a returning client finds its answer. Change: the register knows which connections wait for a request. 30 ms after the last one closed no attempt begins, not even one that waits for a connection or a decision; an attempt at a server goes on, and its answer is kept. A client that comes back meanwhile is waited for again. Bytes of a client that has left are not read. Why it works: Attempt.may_be_written, which each upstream asks right before it writes, is false for an abandoned request.

--- a/badgeryoke/gateway/attempt.py
+++ b/badgeryoke/gateway/attempt.py
@@ -54,6 +54,9 @@
     # Set for a retry of a request that another gateway may have run: no attempt may be written after this, Unix ms.
     send_by_ms: float | None = None
     accepts_stream: bool = False  # the client's connection can take a streamed response
+    abandoned: bool = (
+        False  # its client has left and has not come back: no attempt may begin; set by the dispatcher
+    )
 
 
 def parse_customer(digits: bytes) -> int:
@@ -132,8 +135,12 @@
         return self.stage is AttemptStage.ENDED
 
     def may_be_written(self, now_ms: float) -> bool:
-        """Whether it has not been written and neither its deadline nor `write_by_ms` has passed."""
-        return self.stage is AttemptStage.NOT_WRITTEN and now_ms < min(self.deadline_ms, self.write_by_ms)
+        """Whether it has not been written, may begin, and neither its deadline nor `write_by_ms` has passed."""
+        return (
+            self.stage is AttemptStage.NOT_WRITTEN
+            and not self.request.abandoned
+            and now_ms < min(self.deadline_ms, self.write_by_ms)
+        )
 
     def written(self) -> None:
         """Record that the last byte has been written: from now on the request may have run."""
--- a/badgeryoke/gateway/diameter/client_connection.py
+++ b/badgeryoke/gateway/diameter/client_connection.py
@@ -49,6 +49,8 @@
         """Check a Credit-Control-Request and submit it; the answer may be sent later."""
         if not message.is_request:
             return  # the gateway sends no Credit-Control-Request to a client
+        if self.stream.closed():
+            return  # buffered bytes of a client that has left
         if isinstance(avps, Fault):
             self.send_fault_answer(message, avps)
             return
@@ -78,7 +80,7 @@
         elif full:
             register.refuse(request, retransmitted, CAPACITY_RETRY_AFTER_MS, reply)
         else:
-            register.submit(request, retransmitted, reply)
+            register.submit(request, retransmitted, self, reply)
 
     def _check_destination(self, avps: list[Avp]) -> Fault | None:
         """Return a fault for a request to another realm or host: this gateway is not a relay agent."""
@@ -155,7 +157,8 @@
         self._refusing = True
 
     def connection_closed(self) -> None:
-        """Remove this connection from the listener."""
+        """Report that the client has left, and remove this connection from the listener."""
+        self._listener.register.client_left(self)
         self._listener.connection_closed(self)
 
 
--- a/badgeryoke/gateway/diameter/duplicate_requests.py
+++ b/badgeryoke/gateway/diameter/duplicate_requests.py
@@ -7,6 +7,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from badgeryoke.gateway.diameter.codec import Fault
+from badgeryoke.gateway.pending_request import PendingRequest
 from badgeryoke.gateway.responses import Response, Served
 
 # At either limit, new requests are rejected until entries expire.
@@ -33,12 +35,21 @@
         return hashlib.sha256(serialized).hexdigest()[:16]
 
 
+@dataclass(frozen=True, slots=True)
+class Waiter:
+    """Who waits for an answer: the client's connection, and the function to call."""
+
+    client: object
+    reply: Callable[[Response | Fault], None]
+
+
 @dataclass(slots=True)
 class Entry:
-    """A request, either in flight with the callbacks that wait for its answer, or answered."""
+    """A request, either in flight with those who wait for its answer, or answered."""
 
     identity: RequestIdentity
-    waiting: list[Callable[[Response], None]] = field(default_factory=list)
+    waiting: list[Waiter] = field(default_factory=list)
+    pending: PendingRequest | None = None  # set once it is submitted
     answer: Response | None = None
 
 
@@ -89,7 +100,7 @@
         return entry
 
     def end(self, entry: Entry, answer: Response, keep: bool) -> None:
-        """Answer all waiting callbacks; cache the answer for retransmissions if `keep`, else remove the request."""
+        """Answer all who wait; cache the answer for retransmissions if `keep`, else remove the request."""
         entry.answer = answer
         waiting, entry.waiting = entry.waiting, []
         if keep:
@@ -97,8 +108,8 @@
             self._answered.append((self._now() + self._retention_s, entry))
         else:
             self._remove(entry)
-        for reply in waiting:
-            reply(answer)
+        for waiter in waiting:
+            waiter.reply(answer)
 
     def _expire(self) -> None:
         now = self._now()
--- a/badgeryoke/gateway/diameter/request_register.py
+++ b/badgeryoke/gateway/diameter/request_register.py
@@ -13,7 +13,12 @@
 from badgeryoke.gateway.diameter.codec import Fault
 from badgeryoke.gateway.diameter.credit_control_request import CreditControlRequest
 from badgeryoke.gateway.diameter.dictionary import AvpCode, ResultCode
-from badgeryoke.gateway.diameter.duplicate_requests import DuplicateRequests, Entry
+from badgeryoke.gateway.diameter.duplicate_requests import (
+    DuplicateRequests,
+    Entry,
+    RequestIdentity,
+    Waiter,
+)
 from badgeryoke.gateway.dispatcher import Dispatcher
 from badgeryoke.gateway.responses import Failed, Rejected, Response
 
@@ -35,6 +40,8 @@
         super().__init__(loop)
         self._config, self._dispatcher, self._clock = config, dispatcher, clock
         self._duplicates = DuplicateRequests(config.answers_kept_s, loop.time)
+        # The entries in flight for which each client's connection waits.
+        self._awaited: dict[object, dict[RequestIdentity, Entry]] = {}
         self.update_settings(settings)
 
     def update_settings(self, settings: Settings) -> None:
@@ -51,10 +58,34 @@
         )
 
     def submit(
-        self, request: CreditControlRequest, retransmitted: bool, reply: Callable[[Response | Fault], None]
+        self,
+        request: CreditControlRequest,
+        retransmitted: bool,
+        client: object,
+        reply: Callable[[Response | Fault], None],
     ) -> None:
-        """Call `reply` with the answer, or with a fault; a duplicate gets the answer of the first request."""
-        self.post(self._submit, request, retransmitted, reply)
+        """Call `reply` with the answer, or with a fault; a duplicate gets the answer of the first request.
+
+        client: the connection that waits for the answer, for `client_left`.
+        """
+        self.post(self._submit, request, retransmitted, Waiter(client, reply))
+
+    def client_left(self, client: object) -> None:
+        """Report that a client's connection has closed; the client may send its requests again over another one."""
+        self.post(self._client_left, client)
+
+    def _client_left(self, client: object) -> None:
+        for entry in self._awaited.pop(client, {}).values():
+            entry.waiting = [waiter for waiter in entry.waiting if waiter.client is not client]
+            if not entry.waiting and entry.pending is not None:
+                self._dispatcher.client_left(entry.pending)
+
+    def _wait(self, entry: Entry, waiter: Waiter) -> None:
+        """Let a client's connection wait for the answer to a request in flight."""
+        if not entry.waiting and entry.pending is not None:
+            self._dispatcher.client_returned(entry.pending)
+        entry.waiting.append(waiter)
+        self._awaited.setdefault(waiter.client, {})[entry.identity] = entry
 
     def refuse(
         self,
@@ -81,9 +112,8 @@
         else:
             reply(_refusal(request, retransmitted, retry_after_ms))
 
-    def _submit(
-        self, request: CreditControlRequest, retransmitted: bool, reply: Callable[[Response | Fault], None]
-    ) -> None:
+    def _submit(self, request: CreditControlRequest, retransmitted: bool, waiter: Waiter) -> None:
+        reply = waiter.reply
         earlier = self._duplicates.find(request.identity)
         if earlier is DuplicateRequests.CONFLICTING:
             reply(Fault(ResultCode.UNABLE_TO_COMPLY, "identifiers of two requests: nothing was sent"))
@@ -91,16 +121,14 @@
             if earlier.answer is not None:
                 reply(earlier.answer)
             else:
-                earlier.waiting.append(reply)
+                self._wait(earlier, waiter)
         elif isinstance(dispatcher_request := self._build_dispatcher_request(request, retransmitted), Fault):
             reply(dispatcher_request)
         elif (entry := self._duplicates.begin(request.identity)) is None:
             reply(_refusal(request, retransmitted, CAPACITY_RETRY_AFTER_MS))
         else:
-            entry.waiting.append(reply)
-            # If the connection closes before the answer, the client retries over another one, so the dispatcher
-            # is not notified of the disconnect.
-            self._dispatcher.submit(
+            self._wait(entry, waiter)
+            entry.pending = self._dispatcher.submit_resumable(
                 dispatcher_request,
                 lambda answer: self.post(self._record_answer, entry, dispatcher_request, answer),
             )
@@ -116,10 +144,18 @@
             answer = Failed("may have run")
         if isinstance(answer, Rejected) and dispatcher_request.send_by_ms is not None:
             answer = Failed("the first try may have run")
+        self._forget_waiters(entry)
         self._duplicates.end(
             entry, answer, keep=bool(dispatcher_request.idempotency_key) and not isinstance(answer, Rejected)
         )
 
+    def _forget_waiters(self, entry: Entry) -> None:
+        for waiter in entry.waiting:
+            awaited = self._awaited.get(waiter.client, {})
+            awaited.pop(entry.identity, None)
+            if not awaited:
+                self._awaited.pop(waiter.client, None)
+
     def _build_dispatcher_request(
         self, request: CreditControlRequest, retransmitted: bool
     ) -> Request | Fault:
--- a/badgeryoke/gateway/dispatcher.py
+++ b/badgeryoke/gateway/dispatcher.py
@@ -17,7 +17,7 @@
 from badgeryoke.decisions import interface as api
 from badgeryoke.decisions.policy.engine import DecisionEngine
 from badgeryoke.gateway.actor import Actor, ActorScheduler
-from badgeryoke.gateway.attempt import Attempt, AttemptEnd, Request, Upstream
+from badgeryoke.gateway.attempt import Attempt, AttemptEnd, AttemptStage, Request, Upstream
 from badgeryoke.gateway.decision_module import (
     Counter,
     DecisionModule,
@@ -42,6 +42,8 @@
 # may be busy.  For a short deadline the margin is at most this fraction of it.
 MAX_RESPONSE_GUARD_MS = 15.0
 MAX_RESPONSE_GUARD_FRACTION = 0.1
+# No attempt may begin later than 0.1 s after its client has left; within this time the client may come back for it.
+ABANDON_DELAY_S = 0.03
 FALLBACK_RETRY_AFTER_MS = 100.0  # Retry-After of rejections that the decision module did not make
 MAX_PENDING_REQUESTS = 10_000
 MAX_BODIES_BYTES = 32 * 1024 * 1024  # default bound on the bodies of all pending requests together
@@ -167,6 +169,25 @@
 
         Returns a function that reports that the client has disconnected; after it `respond` is not called.
         """
+        pending = self._submit(request, respond)
+        return lambda: self.post(self._client_disconnected, pending)
+
+    def submit_resumable(self, request: Request, respond: Callable[[Response], None]) -> PendingRequest:
+        """Accept a validated request whose client may come back for the response over another connection.
+
+        Returns the argument for `client_left` and `client_returned`; `respond` is called once, whatever happens.
+        """
+        return self._submit(request, respond)
+
+    def client_left(self, pending: PendingRequest) -> None:
+        """Begin no attempt from shortly after this on, unless the client returns; one in flight may still succeed."""
+        self.post(self._client_left, pending)
+
+    def client_returned(self, pending: PendingRequest) -> None:
+        """Begin attempts again: the client waits for the response over another connection."""
+        self.post(self._client_returned, pending)
+
+    def _submit(self, request: Request, respond: Callable[[Response], None]) -> PendingRequest:
         self._last_id += 1
         # Not the client's id: a repeated id must not leave another request without a response.
         request_id = str(self._last_id)
@@ -177,7 +198,7 @@
         deadline_ms = self._clock() + request.remaining_ms - guard_ms
         pending = PendingRequest(request_id, request, respond, deadline_ms, request_class)
         self.post(self._accept, pending)
-        return lambda: self.post(self._client_disconnected, pending)
+        return pending
 
     def _accept(self, pending: PendingRequest) -> None:
         request = pending.request
@@ -278,6 +299,21 @@
             self._release(pending)
             self._handle_event(api.ClientDisconnected(pending.id))
 
+    def _client_left(self, pending: PendingRequest) -> None:
+        pending.client_left = True
+        self._loop.call_later(ABANDON_DELAY_S, self.deliver, self._abandon, pending)
+
+    def _client_returned(self, pending: PendingRequest) -> None:
+        pending.client_left = pending.request.abandoned = False
+
+    def _abandon(self, pending: PendingRequest) -> None:
+        if not pending.client_left or pending.respond is None:
+            return
+        pending.request.abandoned = True
+        attempt = pending.attempt
+        if attempt is not None and attempt.stage is AttemptStage.NOT_WRITTEN:
+            attempt.abort(api.Verdict.CANCELLED, final=True)
+
     # Deadlines.
 
     def answer_all_now(self) -> None:
@@ -303,10 +339,7 @@
 
     def _answer_without_decision(self, pending: PendingRequest) -> None:
         """Give the final response to a request that has none from the decision module."""
-        if pending.repeat_is_harmless or not pending.may_have_run:
-            self._respond(pending, Rejected(FALLBACK_RETRY_AFTER_MS, pending.may_have_run))
-        else:
-            self._respond(pending, Failed("may have run"))
+        self._respond(pending, _undecided_response(pending))
         self._handle_event(api.ClientDisconnected(pending.id))
 
     # The decision module's events and actions.
@@ -443,6 +476,8 @@
                 self._stream_finished(pending, Failed("broke off"))
         elif end.verdict is api.Verdict.OK and pending.respond is not None:
             self._respond(pending, Served(end.value, end.true_units))
+        elif pending.request.abandoned:
+            self._respond(pending, _undecided_response(pending))
         answered = pending.respond is None or stream is not None
         if pending.respond is None and pending.attempt is None:
             self._remove(pending)
@@ -518,3 +553,10 @@
     def _remove(self, pending: PendingRequest) -> None:
         if self._pending.pop(pending.id, None) is not None:
             self._bodies_bytes -= len(pending.request.body or b"")
+
+
+def _undecided_response(pending: PendingRequest) -> Response:
+    """The final response to a request without a decision, by whether it may have run."""
+    if pending.repeat_is_harmless or not pending.may_have_run:
+        return Rejected(FALLBACK_RETRY_AFTER_MS, pending.may_have_run)
+    return Failed("may have run")
--- a/badgeryoke/gateway/pending_request.py
+++ b/badgeryoke/gateway/pending_request.py
@@ -32,6 +32,7 @@
     __slots__ = (
         "attempt",
         "attempt_count",
+        "client_left",
         "deadline_ms",
         "deadline_timer",
         "deduplication_window_ms",
@@ -69,6 +70,7 @@
         )
         self.first_possible_run_ms = math.inf  # when the first attempt that may have run was started
         self.respond: Callable[[Response], None] | None = respond  # None: the final response has been given
+        self.client_left = False  # nobody waits for the response at present
         self.may_have_run = False
         self.attempt_count = 0
         self.attempt: Attempt | None = None  # the attempt in flight
--- a/tests/gateway/diameter/test_retransmissions.py
+++ b/tests/gateway/diameter/test_retransmissions.py
@@ -11,12 +11,13 @@
 from badgeryoke.gateway.application import GatewayApplication
 from badgeryoke.gateway.diameter import client_connection
 from tests.support.diameter_clients import Streams, open_peer, send, with_gateway
-from tests.support.running import run_test
+from tests.support.running import run_test, until
 from tests.support.stand_ins import (
     KEYED,
     NOW_MS,
     SAFE,
     Backend,
+    Counter,
     RequestLedger,
     ccr,
     config,
@@ -24,6 +25,7 @@
     entry,
     event_time,
     gateway,
+    read_message,
 )
 
 SERVED, BUSY, UNABLE_TO_COMPLY = 2001, 3004, 5012
@@ -114,3 +116,65 @@
         peer[1].close()
 
     with_gateway(test)
+
+
+async def leave(app: GatewayApplication, peer: Streams) -> None:
+    """Reset a client's connection, and wait until its requests are abandoned."""
+    peer[1].transport.abort()
+    await until(lambda: all(pending.request.abandoned for pending in app.parts.dispatcher._pending.values()))
+
+
+def test_no_attempt_begins_for_a_client_that_has_left() -> None:
+    """Guards against a second charge where the client sends the debit again elsewhere, behind the key's window."""
+
+    async def test(app: GatewayApplication, backend: Backend) -> None:
+        peer = await open_peer(app)
+        peer[1].write(ccr(9, extra=DEBIT_TIME))
+        await backend.ledger.arrived.wait()
+        await leave(app, peer)
+        backend.drop()
+        await until(lambda: not app.parts.dispatcher._pending)
+        again = await open_peer(app)
+        [answer] = await send(again, ccr(9, flags=0xD0, extra=DEBIT_TIME))
+        assert answer.result == UNABLE_TO_COMPLY and len(backend.commands) == 1
+        again[1].close()
+
+    with_gateway(test, script=[None])
+
+
+def test_an_undecided_debit_is_not_sent_for_a_client_that_has_left() -> None:
+    """Guards against a debit that begins after its client left because the counter answers late."""
+
+    async def test() -> None:
+        async with Backend() as backend, Counter() as counter:
+            counter.may_answer.clear()
+            known = endpoint_snapshot(entry("a", backend.port))
+            async with gateway(config(1, counter.port, known, True)) as app:
+                peer = await open_peer(app)
+                peer[1].write(ccr(9, service=2, units=6))
+                await until(lambda: app.parts.dispatcher._pending)
+                await leave(app, peer)
+                counter.may_answer.set()
+                await until(lambda: not app.parts.dispatcher._pending)
+            assert not backend.commands
+
+    run_test(test)
+
+
+def test_a_client_that_returns_gets_a_further_attempt() -> None:
+    """Guards against a debit given up although its client has come back, and the servers drop a repeat."""
+
+    async def test(app: GatewayApplication, backend: Backend) -> None:
+        peer = await open_peer(app)
+        peer[1].write(ccr(9, extra=DEBIT_TIME))
+        await backend.ledger.arrived.wait()
+        await leave(app, peer)
+        again = await open_peer(app)
+        again[1].write(ccr(9, flags=0xD0, extra=DEBIT_TIME))
+        await until(lambda: not any(p.client_left for p in app.parts.dispatcher._pending.values()))
+        backend.drop()
+        answer = await read_message(again[0])
+        assert (answer.result, len(backend.commands)) == (SERVED, 2)
+        again[1].close()
+
+    with_gateway(test, script=[None])
