Diameter: bound the end of a connection after the peer's own disconnect

Cause: found by reading again: behind its Disconnect-Peer-Request and the answer, a client that sends on without pause, or reads nothing, kept its connection open, since the close waits for unread and unwritten bytes. Change: the same 5 s bound as behind the gateway's own request; what is in flight is answered first. Measured: a_client_that_goes_on_after_its_disconnect_is_closed failed without it (time limit); 80 tests of the front pass.

--- a/badgeryoke/gateway/diameter/peer.py
+++ b/badgeryoke/gateway/diameter/peer.py
@@ -18,7 +18,7 @@
 
 log = logging.getLogger(__name__)
 
-EXCHANGE_TIMEOUT_S = 5.0  # applies to the capabilities exchange and to the answer to a DPR
+EXCHANGE_TIMEOUT_S = 5.0  # applies to the capabilities exchange and to the end after a DPR
 CLOSE_CHECK_INTERVAL_S = 0.01  # time between checks of whether a connection may be closed
 WATCHDOG_JITTER_S = 2.0  # as RFC 3539 specifies
 PROTOCOL_ERRORS = range(3000, 4000)  # answers with these result codes have the E bit set
@@ -136,6 +136,7 @@
             self._disconnect_request = None
             self.send_answer(request, ResultCode.SUCCESS, [])
             self._close_requested = True
+            self._loop.call_later(EXCHANGE_TIMEOUT_S, self.deliver, self._disconnect_timed_out)
 
     def _close_when_finished(self) -> None:
         """Close, unless bytes are unwritten or may hold a request; then the check is repeated."""
@@ -322,7 +323,7 @@
         self._loop.call_later(EXCHANGE_TIMEOUT_S, self.deliver, self._disconnect_timed_out)
 
     def _disconnect_timed_out(self) -> None:
-        """Close without a DPA, but not before the requests in flight are answered."""
+        """Close whatever the peer does, but not before the requests in flight are answered."""
         if self.has_requests_in_flight:
             self._end_input()
             self._loop.call_later(EXCHANGE_TIMEOUT_S, self.deliver, self._disconnect_timed_out)
--- a/tests/gateway/diameter/test_disconnect.py
+++ b/tests/gateway/diameter/test_disconnect.py
@@ -10,6 +10,7 @@
 
 from badgeryoke.gateway.application import GatewayApplication
 from badgeryoke.gateway.diameter import client_connection
+from badgeryoke.gateway.diameter import peer as peer_module
 from badgeryoke.gateway.graceful_shutdown import ShutdownEvent
 from tests.support.diameter_clients import Streams, open_peer, send, with_gateway
 from tests.support.running import until
@@ -106,6 +107,20 @@
     with_gateway(test, script=[None])
 
 
+def test_a_client_that_goes_on_after_its_disconnect_is_closed(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a connection that stays open as long as its client sends."""
+    monkeypatch.setattr(peer_module, "EXCHANGE_TIMEOUT_S", 0.2)
+    monkeypatch.setattr(peer_module, "has_unread_data", lambda _: True)  # whenever the gateway looks
+
+    async def test(app: GatewayApplication, _: Backend) -> None:
+        reader, writer = await open_peer(app)
+        [answer] = await send((reader, writer), DISCONNECT_REQUEST)
+        assert answer.command == DISCONNECT
+        assert await reader.read() == b""
+
+    with_gateway(test)
+
+
 def test_an_invalid_message_does_not_lose_the_debit_before_it() -> None:
     """Guards against a close at once after a framing error, while an earlier debit is at a server."""
 
