--- a/review/stand2/stand.py
+++ b/review/stand2/stand.py
@@ -395,6 +395,18 @@
     }
 
 
+def root_with(folder: Path, diameter: str) -> Path:
+    """A root like the project's, but with an operators' deploy/diameter.toml of its own."""
+    root = folder / "root"
+    (root / "deploy").mkdir(parents=True)
+    for name in ("badgeryoke", ".venv"):
+        (root / name).symlink_to(ROOT / name)
+    for name in ("balancer.toml", "badgeryoke.toml"):
+        (root / "deploy" / name).write_text((ROOT / "deploy" / name).read_text(encoding="utf-8"))
+    (root / "deploy" / "diameter.toml").write_text(diameter, encoding="utf-8")
+    return root
+
+
 class Gateway:
     """One gateway, started with the deploy file's line `run`."""
 
@@ -407,8 +419,9 @@
         counter: int,
         memory_mb: int = 192,
         sockets: int = 1024,
+        root: Path = ROOT,
     ) -> None:
-        self.name = f"n{index + 1}"
+        self.name, self.root = f"n{index + 1}", root
         self.port = free_port()
         self.mgmt = free_port()
         self.folder = folder / self.name
@@ -437,7 +450,7 @@
         path = self.write_config()
         temporary = self.folder / "tmp"
         temporary.mkdir(exist_ok=True)
-        deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text(encoding="utf-8"))
+        deploy = tomllib.loads((self.root / "deploy" / "balancer.toml").read_text(encoding="utf-8"))
         environ = {
             "PATH": os.environ.get("PATH", "/usr/bin:/bin"),
             "HOME": str(temporary),
@@ -454,7 +467,7 @@
                 "/bin/sh",
                 "-c",
                 deploy["run"],
-                cwd=ROOT,
+                cwd=self.root,
                 env=environ,
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=log,
