Let the review's scripts end what they started however they are ended

Cause: a script that was itself killed left its gateway running, and a fault of a script ended it with 1.

Change: signals end the play in order, the system ends a gateway with its parent, any fault of the script itself is exit code 2.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -85,8 +85,8 @@
         await gateway.stop()
         record(gateway.log())
     record.say(
-        f"{2 * PAIRS} debits: {right} told their own result, {foreign} told another customer's, {other} refused or failed; "
-        f"{len(seen.debits)} ran at the servers"
+        f"{2 * PAIRS} debits: {right} told their own result, {foreign} told another customer's, "
+        f"{other} refused or failed; {len(seen.debits)} ran at the servers"
     )
     if right < PAIRS:
         return stand.COULD_NOT_RUN
--- a/review/stand2/stand.py
+++ b/review/stand2/stand.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import ctypes
 import json
 import os
 import signal
@@ -23,6 +24,7 @@
 HOST = "127.0.0.1"
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 BROKEN, HELD, COULD_NOT_RUN = 1, 0, 2
+PR_SET_PDEATHSIG = 1
 
 
 class CouldNotRun(Exception):
@@ -51,7 +53,8 @@
     def say(self, text: str) -> None:
         """Add one line and print it."""
         self(text)
-        print(text, flush=True)
+        with contextlib.suppress(OSError):  # nobody reads what is printed
+            print(text, flush=True)
 
     def close(self) -> None:
         """Write what is left."""
@@ -407,6 +410,11 @@
     return root
 
 
+def _end_with_parent() -> None:
+    """Let the system end this process if the script is killed."""
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class Gateway:
     """One gateway, started with the deploy file's line `run`."""
 
@@ -473,6 +481,7 @@
                 stdout=log,
                 stderr=log,
                 start_new_session=True,
+                preexec_fn=_end_with_parent,
             )
         until = time.time() + wait_s
         while time.time() < until:
@@ -525,15 +534,19 @@
     record = Record(folder)
     verdict = COULD_NOT_RUN
     with tempfile.TemporaryDirectory(prefix="case-") as temporary:
+        playing = asyncio.ensure_future(asyncio.wait_for(body(record, Path(temporary)), limit_s))
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, playing.cancel)
         try:
-            verdict = await asyncio.wait_for(body(record, Path(temporary)), limit_s)
-        except CouldNotRun as reason:
-            record.say(f"could not run: {reason}")
+            verdict = await playing
+        except asyncio.CancelledError:
+            record.say("could not run: ended by a signal")
         except TimeoutError:
             record.say(f"could not run: not done within {limit_s:.0f} s")
-        except OSError as reason:
+        except Exception as reason:  # any fault of the case itself says nothing about the rule
             record.say(f"could not run: {type(reason).__name__}: {reason}")
     record.say({BROKEN: "BROKEN", HELD: "held", COULD_NOT_RUN: "could not run"}[verdict])
     record.close()
-    sys.stdout.flush()
+    with contextlib.suppress(OSError):
+        sys.stdout.flush()
     os._exit(verdict)
