Let case 10's clients send more than one further request

Cause: where a system's buffer holds less than the value, the gateway closes the connection later than the one further request.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -12,7 +12,7 @@
 
 VALUE_BYTES = 2 * 1024 * 1024  # "up to 4 MiB"
 PIECE_BYTES, PAUSE_S = 32 * 1024, 0.08  # a value takes 5 s to read: "peers take seconds to read"
-CLIENTS = 12
+CLIENTS, REQUESTS = 12, 6
 
 
 def value_of(request_id: str) -> bytes:
@@ -40,12 +40,12 @@
 
 
 async def one_client(gateway: stand.Gateway, number: int, record: stand.Record) -> str:
-    """Ask for a long value, send the next request after 2 s, and read all of it at one pace."""
+    """Ask for a long value, read it at one pace, and go on using the connection meanwhile."""
     loop = asyncio.get_running_loop()
     with socket.socket() as sock:
         sock.setblocking(False)
         await loop.sock_connect(sock, (stand.HOST, gateway.port))
-        ids = [f"{number:08x}0000000{index}" for index in range(2)]
+        ids = [f"{number:08x}0000000{index}" for index in range(REQUESTS)]
 
         async def send() -> None:
             for index, request_id in enumerate(ids):
@@ -57,7 +57,7 @@
                     record(f"{request_id} could not be sent: {fault}")
                     return
                 record(f"{request_id} sent")
-                await asyncio.sleep(2.5)
+                await asyncio.sleep(0.5 if index else 2.5)
 
         sending = asyncio.ensure_future(send())
         data = bytearray()
