Hold pipelined clients back before the responses behind a slow one fill memory

Change: ResponseBudget counts the responses that are buffered or expected over all connections. A request that is not first on its connection starts only if the budget has room for its response; until then its command waits in its place and nothing more is read. Closing is left as the last resort above the sum of the bounds.

--- a/badgeryoke/gateway/parts.py
+++ b/badgeryoke/gateway/parts.py
@@ -18,6 +18,7 @@
 from badgeryoke.gateway.dispatcher import Dispatcher
 from badgeryoke.gateway.quota_counter.client import QuotaCounterClient
 from badgeryoke.gateway.resp.listener import RespListener
+from badgeryoke.gateway.resp.response_budget import ResponseBudget
 from badgeryoke.gateway.response_stream import BufferBudget
 from badgeryoke.gateway.upstream_directory import UpstreamDirectory
 
@@ -34,6 +35,7 @@
 MIN_BUFFER_MB = 4.0
 BODIES_FRACTION = 0.25  # bodies of pending requests
 PARTIAL_COMMANDS_FRACTION = 0.15  # incomplete commands
+RESPONSES_FRACTION = 0.15  # responses of RESP clients that are not sent yet
 STREAMS_FRACTION = 0.2  # response streams; the connections' own buffers take as much again
 BYTES_PER_MB = 1024 * 1024
 
@@ -137,8 +139,9 @@
         loop,
         int(config.sockets * RESP_CLIENTS_FRACTION),
         discovery,
-        int(buffer_bytes * PARTIAL_COMMANDS_FRACTION),
+        int(buffer_bytes * (PARTIAL_COMMANDS_FRACTION + RESPONSES_FRACTION)),
         int(config.sockets * CROWDED_CLIENTS_FRACTION),
+        ResponseBudget(int(buffer_bytes * RESPONSES_FRACTION)),
     )
 
 
--- a/badgeryoke/gateway/resp/client_connection.py
+++ b/badgeryoke/gateway/resp/client_connection.py
@@ -29,6 +29,7 @@
     parse_number,
     parse_pairs,
 )
+from badgeryoke.gateway.resp.response_budget import BudgetShare, ResponseBudget
 from badgeryoke.gateway.response_stream import ResponseStream
 from badgeryoke.gateway.responses import Rejected, Response, Served, Streaming
 
@@ -129,10 +130,12 @@
 class _ResponseSlot:
     """The place of one pipelined request in the order of responses."""
 
-    __slots__ = ("notify_disconnected", "reply", "response_stream")
+    __slots__ = ("command", "expected_bytes", "notify_disconnected", "reply", "response_stream")
 
-    def __init__(self, reply: bytes | None = None) -> None:
-        self.reply = reply
+    def __init__(self, command: Value = None) -> None:
+        self.reply: bytes | None = None
+        self.command = command  # a command that has not been started
+        self.expected_bytes = 0  # held of the budget until the response is ready
         # Cancels the request in the dispatcher when the client has disconnected.
         self.notify_disconnected: Callable[[], None] | None = None
         self.response_stream: ResponseStream | None = None  # set for a streamed value
@@ -148,8 +151,11 @@
         loop: ActorScheduler,
         is_ready: Callable[[], bool],
         on_closed: Callable[[RespClientConnection], None],
+        budget: ResponseBudget,
     ) -> None:
         super().__init__(loop)
+        self._budget = budget
+        self._budget_share = BudgetShare(budget)
         self._stream, self._dispatcher, self._is_ready, self._on_closed = (
             stream,
             dispatcher,
@@ -161,6 +167,7 @@
         )
         self._malformed_count = 0
         self._slots: deque[_ResponseSlot] = deque()
+        self._unstarted: deque[_ResponseSlot] = deque()  # the last slots, whose commands wait for the budget
         self._closing = False  # the connection closes once all accepted requests are answered
         self._input_ended = self._output_ended = False  # either one: further input is ignored
         self._rejecting = False  # new requests are rejected
@@ -198,7 +205,11 @@
     @property
     def _backpressured(self) -> bool:
         """Whether reading is suspended."""
-        return len(self._slots) >= MAX_PIPELINED_REQUESTS or (self._input_ended and bool(self._slots))
+        return (
+            len(self._slots) >= MAX_PIPELINED_REQUESTS
+            or bool(self._unstarted)
+            or (self._input_ended and bool(self._slots))
+        )
 
     @property
     def buffered_bytes(self) -> int:
@@ -277,6 +288,8 @@
             timer = self._loop.call_later(DISCONNECT_CHECK_INTERVAL_S, self._may_read.set)
             await self._may_read.wait()
             timer.cancel()
+            if self._unstarted:
+                self.deliver(self._wake_up)  # the budget may have room again
 
     def _data_received(self, data: bytes) -> None:
         # A closed stream still returns its buffered bytes; its client has disconnected, and no request may start.
@@ -284,21 +297,44 @@
             return
         values = self._parser.feed(data)
         for value in values:
-            self._handle_command(value)
-            if self._input_ended:
-                return  # the rest is ignored, so that hundreds of malformed commands cost no more than a few
+            slot = _ResponseSlot(command=value)
+            self._slots.append(slot)
+            self._unstarted.append(slot)
+        self._start_commands()
+        if self._input_ended:
+            return
         if self._parser.is_idle:
             self.has_sent_command, self.command_started_s = True, math.inf
         elif values or self.command_started_s == math.inf:
             self.command_started_s = self._loop.time()
         if fault := self._parser.fault:
             log.info("client violated the protocol: %s", fault)
-            self._slots.append(_ResponseSlot(error(f"ERR protocol: {fault}")))
+            slot = _ResponseSlot()
+            self._set_reply(slot, error(f"ERR protocol: {fault}"))
+            self._slots.append(slot)
             self._input_ended = self._closing = True
 
-    def _handle_command(self, value: Value) -> None:
-        slot = _ResponseSlot()
-        self._slots.append(slot)
+    def _start_commands(self) -> None:
+        """Start the commands that were received, in order, while the budget has room for their responses."""
+        while self._unstarted and self._may_start(self._unstarted[0]):
+            slot = self._unstarted.popleft()
+            command, slot.command = slot.command, None
+            self._handle_command(slot, command)
+            if self._malformed_count >= MAX_MALFORMED_COMMANDS:
+                self._ignore_input()
+
+    def _may_start(self, slot: _ResponseSlot) -> bool:
+        """Whether a command may start: always one whose response can be sent as soon as it is ready."""
+        is_first = slot is self._slots[0] and not self._unsent_bytes
+        return is_first or self._rejecting or self._budget_share.may_start()
+
+    def _ignore_input(self) -> None:
+        """Ignore what follows, so that hundreds of malformed commands cost no more than a few."""
+        self._input_ended = self._closing = True
+        while self._unstarted:
+            self._slots.remove(self._unstarted.pop())
+
+    def _handle_command(self, slot: _ResponseSlot, value: Value) -> None:
         if not isinstance(value, list) or not value or not isinstance(value[0], bytes):
             self._reject_malformed(slot, "expected an array of bulk strings")
             return
@@ -313,40 +349,50 @@
                 return
             if self._rejecting:
                 # The request has been read, so it is answered: without a response it would be lost in the close.
-                slot.reply = encode_response(Rejected(1.0))
+                self._set_reply(slot, encode_response(Rejected(1.0)))
                 return
+            slot.expected_bytes = self._budget_share.expect_response()
             slot.notify_disconnected = self._dispatcher.submit(
                 request, lambda response: self.post(self._response_ready, slot, response)
             )
         elif name == b"PING":
-            slot.reply = PONG if self._is_ready() else error("ERR not ready")
+            self._set_reply(slot, PONG if self._is_ready() else error("ERR not ready"))
         elif name in (b"CLIENT", b"SELECT"):
-            slot.reply = OK
+            self._set_reply(slot, OK)
         else:
             self._reject_malformed(slot, "unknown command")
 
     def _reject_malformed(self, slot: _ResponseSlot, text: str) -> None:
         """Answer a malformed command with an error; after too many of them the connection is closed."""
-        slot.reply = error(f"ERR {text}")
+        self._set_reply(slot, error(f"ERR {text}"))
         self._malformed_count += 1
-        if self._malformed_count >= MAX_MALFORMED_COMMANDS:
-            self._input_ended = self._closing = True
 
     def _response_ready(self, slot: _ResponseSlot, response: Response) -> None:
         if isinstance(response, Streaming):
+            # The stream has a budget of its own.
+            self._budget_share.release(slot.expected_bytes)
             slot.reply, slot.response_stream = encode_response(response), response.stream
             response.stream.on_change = lambda: self.post(self._wake_up)
-        else:
-            slot.reply, slot.notify_disconnected = encode_response(response), None
+            return
+        slot.notify_disconnected = None
+        self._set_reply(slot, encode_response(response))
+        if isinstance(response, Served):
+            self._budget.record_size(len(response.value))
+
+    def _set_reply(self, slot: _ResponseSlot, reply: bytes) -> None:
+        slot.reply = reply
+        self._budget_share.response_ready(slot.expected_bytes, len(reply))
 
     def _wake_up(self) -> None:
         """Do nothing but cause a turn, in which batch_ended() writes pending responses and may close."""
 
     def batch_ended(self) -> None:
         """Write all responses that are ready at the head of the queue, in one write."""
+        self._start_commands()
         slots = self._slots
         out: list[bytes | None] = []
         unsent = self._unsent_bytes
+        held_bytes = 0  # of the output, in the budget
         while slots and (reply := slots[0].reply) is not None:
             if unsent and unsent + len(reply) > MAX_UNSENT_BYTES:
                 break  # the other responses are written once these are sent
@@ -355,6 +401,7 @@
             ):
                 break
             unsent += len(reply)
+            held_bytes += len(slots[0].reply or b"")
             out.append(slots.popleft().reply)
         if self._stream.closed():
             return
@@ -363,7 +410,9 @@
             data = b"".join(part for part in out if part)
             self._unsent_bytes += len(data)
             try:
-                self._stream.write(data).add_done_callback(lambda done: self._write_finished(done, len(data)))
+                self._stream.write(data).add_done_callback(
+                    lambda done: self._write_finished(done, len(data), held_bytes)
+                )
             except StreamClosedError:
                 return
         self.idle_since_s = self._loop.time()
@@ -377,12 +426,13 @@
             self._closing = True
             self._close_gracefully()
 
-    def _write_finished(self, done: asyncio.Future[None], size: int) -> None:
+    def _write_finished(self, done: asyncio.Future[None], size: int, held_bytes: int) -> None:
         """Account for a finished write; also retrieves the exception of a write interrupted by a close."""
         self._unsent_bytes -= size
+        self._budget_share.release(held_bytes)
         if not done.cancelled() and done.exception() is None:
             self.write_stalled_since_s = self._loop.time() if self._unsent_bytes else math.inf
-            if self._closing or (self._slots and self._slots[0].reply is not None):
+            if self._closing or self._unstarted or (self._slots and self._slots[0].reply is not None):
                 self.deliver(self._wake_up)
 
     def _write_stream(
@@ -465,6 +515,8 @@
     def _disconnected(self) -> None:
         """Cancel the requests in flight of a connection that has closed."""
         slots, self._slots = self._slots, deque()
+        self._unstarted.clear()
+        self._budget_share.close()
         self._may_read.set()
         for slot in slots:
             if slot.notify_disconnected is not None:
--- a/badgeryoke/gateway/resp/listener.py
+++ b/badgeryoke/gateway/resp/listener.py
@@ -12,6 +12,7 @@
 from badgeryoke.gateway.discovery.client import DiscoveryClient
 from badgeryoke.gateway.dispatcher import Dispatcher
 from badgeryoke.gateway.resp.client_connection import READ_CHUNK_BYTES, RespClientConnection
+from badgeryoke.gateway.resp.response_budget import ResponseBudget
 
 log = logging.getLogger(__name__)
 
@@ -46,7 +47,9 @@
         discovery: DiscoveryClient,
         max_buffered_bytes: int,
         crowded_count: int,
+        response_budget: ResponseBudget,
     ) -> None:
+        self._response_budget = response_budget
         self._crowded_count = crowded_count
         self._max_buffered_bytes = max_buffered_bytes
         self._dispatcher, self._loop, self._max_connections, self._discovery = (
@@ -130,7 +133,12 @@
             MIN_EVICTION_IDLE_S
         )
         connection = RespClientConnection(
-            stream, self._dispatcher, self._loop, self.ready, self._connection_closed
+            stream,
+            self._dispatcher,
+            self._loop,
+            self.ready,
+            self._connection_closed,
+            self._response_budget,
         )
         self.connections[connection] = None  # registered first, so that shutdown waits for it
         if full:
