Close a drained connection only when its client has received what the system holds

Cause: _close_gracefully (resp/client_connection.py) waited for the stream's buffer, not for the client, and closed the socket 0.2 s after the last write. The next request met the closed socket, and the reset threw away what the system still held.

Change: a connection closes when the socket's count of unacknowledged bytes is at most 4 KiB; until then requests are read and answered. Idle connections are judged the same way. Requests that are in the socket when the grace period ends are read and refused for at most 1 s more.

A connection that never counts as stalled still fails them.

--- a/badgeryoke/gateway/connecting.py
+++ b/badgeryoke/gateway/connecting.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import socket
+import struct
+import termios
 from collections.abc import Callable
 
 from tornado.iostream import IOStream, StreamClosedError
 
 READ_CHUNK_BYTES = 65536
+COUNT_FORMAT = struct.Struct("i")  # of the ioctl that counts bytes
 
 
 def new_socket(address: tuple[str, int]) -> socket.socket:
@@ -47,6 +51,17 @@
         return False
 
 
+def unacknowledged_bytes(stream: IOStream) -> int:
+    """Bytes that the system still holds for the peer: written to the socket, and not acknowledged (SIOCOUTQ)."""
+    if stream.closed():
+        return 0
+    try:
+        counted = fcntl.ioctl(stream.socket, termios.TIOCOUTQ, bytes(COUNT_FORMAT.size))
+    except OSError:  # this kind of socket has no such count
+        return 0
+    return int(COUNT_FORMAT.unpack(counted)[0])
+
+
 async def pump(stream: IOStream, receive: Callable[[bytes], None]) -> None:
     """Pass received bytes to `receive` until the connection ends; the only coroutine that a connection needs."""
     try:
--- a/badgeryoke/gateway/resp/client_connection.py
+++ b/badgeryoke/gateway/resp/client_connection.py
@@ -17,7 +17,7 @@
 
 from badgeryoke.gateway.actor import Actor, ActorScheduler
 from badgeryoke.gateway.attempt import Request, parse_customer
-from badgeryoke.gateway.connecting import has_unread_data
+from badgeryoke.gateway.connecting import has_unread_data, unacknowledged_bytes
 from badgeryoke.gateway.dispatcher import Dispatcher
 from badgeryoke.gateway.resp.codec import (
     MAX_BULK_BYTES,
@@ -49,6 +49,12 @@
 # never stops sending, the connection is closed after a response, with the requests behind it unread.  A new
 # connection has FIRST_REQUEST_GRACE_S to send its first request.
 DRAIN_GRACE_S, FIRST_REQUEST_GRACE_S = 1.0, 0.5
+# Time after the grace period in which requests that are in the socket already are still read, and rejected.
+REJECTION_TIME_S = 1.0
+# A connection closes only when the system holds no more than this for its client.  A client that still reads a long
+# value may send its next request, which resets a closed connection, and the rest of the value with it.
+MAX_UNDELIVERED_AT_CLOSE_BYTES = 4096
+DELIVERY_CHECK_INTERVAL_S = 0.05
 MAX_PIPELINED_REQUESTS = 64  # unanswered requests of one connection; reading is suspended at this many
 # Bytes read and handled in one turn: hundreds of commands in one turn would block all other connections.  The
 # streams read chunks of the same size, so that no bytes are buffered between the socket and the turn.
@@ -172,6 +178,9 @@
         self._input_ended = self._output_ended = False  # either one: further input is ignored
         self._rejecting = False  # new requests are rejected
         self._grace_expired = False  # the connection closes without waiting for an incomplete command
+        self._reads_until_s = math.inf  # until when a closing connection reads what is in the socket
+        self._awaits_delivery = False  # the close waits until the client has received what the system holds
+        self._undelivered_bytes = 0  # held by the system for the client, at the last check
         self._handling_data = False  # the last chunk read is being handled
         self._unsent_bytes = 0  # bytes written to the stream but not yet to the socket
         self._last_write_s = -math.inf  # when a response was last written
@@ -191,9 +200,17 @@
         if self._stream.closed() or self._slots or self._mailbox or not self._parser.is_idle or self._closing:
             return False
         return (
-            not self._stream.writing() and not self._has_unhandled_data and not has_unread_data(self._stream)
+            not self._stream.writing()
+            and not self._has_unhandled_data
+            and not has_unread_data(self._stream)
+            and not self._is_behind
         )
 
+    @property
+    def _is_behind(self) -> bool:
+        """Whether the client has not received yet what the system holds for it."""
+        return unacknowledged_bytes(self._stream) > MAX_UNDELIVERED_AT_CLOSE_BYTES
+
     @property
     def _has_unhandled_data(self) -> bool:
         """Whether bytes may have been read from the socket but not handled yet.
@@ -236,7 +253,7 @@
         Pending responses are sent first.  Unread bytes may be the rest of the command: the connection stays open
         until they are handled, and the next call checks again.
         """
-        if self._slots:
+        if self._slots or self._is_behind:
             self.drain_now()
         elif not self._has_unhandled_data and not has_unread_data(self._stream):
             self._stream.close()
@@ -416,10 +433,10 @@
             except StreamClosedError:
                 return
         self.idle_since_s = self._loop.time()
-        if not self._stream.writing():
+        if not self._stream.writing() and not self._awaits_delivery:
             self.write_stalled_since_s = math.inf
         elif self.write_stalled_since_s == math.inf or out:
-            self.write_stalled_since_s = self.idle_since_s
+            self._restart_stall_clock()
         if len(slots) < MAX_PIPELINED_REQUESTS:
             self._may_read.set()
         if (self._closing or (self._draining and self.has_sent_command)) and not slots:
@@ -431,7 +448,10 @@
         self._unsent_bytes -= size
         self._budget_share.release(held_bytes)
         if not done.cancelled() and done.exception() is None:
-            self.write_stalled_since_s = self._loop.time() if self._unsent_bytes else math.inf
+            if self._unsent_bytes or self._awaits_delivery:
+                self._restart_stall_clock()
+            else:
+                self.write_stalled_since_s = math.inf
             if self._closing or self._unstarted or (self._slots and self._slots[0].reply is not None):
                 self.deliver(self._wake_up)
 
@@ -468,21 +488,62 @@
         """
         if self._stream.closed() or self._stream.writing():
             return  # _write_finished() causes another turn
-        if not self._input_ended and (
-            self._has_unhandled_data
-            or (not self._grace_expired and (not self._parser.is_idle or has_unread_data(self._stream)))
-        ):
+        if not self._input_ended and self._may_hold_requests:
             return  # requests sent before the close are read and answered, and that turn calls this method again
-        if not self._output_ended:
-            self._output_ended = True
-            if self._loop.time() - self._last_write_s >= LINGER_S:
-                # The client has received its last response.  Requests that arrive during the close are not read, and
-                # the client retries them.
-                self._stream.close()
-                return
-            with contextlib.suppress(OSError):
-                self._stream.socket.shutdown(socket.SHUT_WR)
-            self._loop.call_later(LINGER_S, self._stream.close)
+        if self._output_ended:
+            return
+        if self._is_behind:
+            self._await_delivery()
+            return
+        self._output_ended = True
+        if self._loop.time() - self._last_write_s >= LINGER_S:
+            # The client has received its last response.  Requests that arrive during the close are not read, and
+            # the client retries them.
+            self._stream.close()
+            return
+        with contextlib.suppress(OSError):
+            self._stream.socket.shutdown(socket.SHUT_WR)
+        self._loop.call_later(LINGER_S, self._stream.close)
+
+    @property
+    def _may_hold_requests(self) -> bool:
+        """Whether bytes that were received may be requests which have to be answered before the close."""
+        if self._has_unhandled_data:
+            return True
+        if self._grace_expired and self._loop.time() >= self._reads_until_s:
+            return False
+        if has_unread_data(self._stream):
+            return True
+        return not self._parser.is_idle and not self._grace_expired
+
+    def _await_delivery(self) -> None:
+        """Check again soon whether the client has received what the system holds for it."""
+        if not self._awaits_delivery:
+            self._awaits_delivery = True
+            if self.write_stalled_since_s == math.inf:
+                self._restart_stall_clock()
+            self._loop.call_later(DELIVERY_CHECK_INTERVAL_S, self.deliver, self._check_delivery)
+
+    def _check_delivery(self) -> None:
+        """Repeat the check; once it succeeds, batch_ended() closes the connection."""
+        if self._is_behind and not self._stream.closed():
+            self._loop.call_later(DELIVERY_CHECK_INTERVAL_S, self.deliver, self._check_delivery)
+        else:
+            self._awaits_delivery = False
+
+    def _restart_stall_clock(self) -> None:
+        self._undelivered_bytes = unacknowledged_bytes(self._stream)
+        self.write_stalled_since_s = self._loop.time()
+
+    def record_progress(self) -> None:
+        """Note whether the client has received bytes since the last call, while responses wait for it.
+
+        The stream's own writes do not show that: the system takes no more until a third of its buffer is free.
+        """
+        if self.write_stalled_since_s == math.inf:
+            return
+        if unacknowledged_bytes(self._stream) != self._undelivered_bytes:
+            self._restart_stall_clock()
 
     def drain(self) -> None:
         """Close between requests, once every accepted request is answered."""
@@ -506,6 +567,8 @@
 
     def _drain_now(self) -> None:
         """Close as soon as no request is in flight: the grace period is over."""
+        if not self._grace_expired:
+            self._reads_until_s = self._loop.time() + REJECTION_TIME_S
         self._rejecting = self._grace_expired = self._closing = True
 
     def _first_request_expired(self) -> None:
--- a/badgeryoke/gateway/resp/listener.py
+++ b/badgeryoke/gateway/resp/listener.py
@@ -196,6 +196,7 @@
         buffered_bytes = 0
         for connection in list(self.connections):
             buffered_bytes += connection.buffered_bytes
+            connection.record_progress()
             if now - connection.write_stalled_since_s >= (
                 STREAM_STALL_TIMEOUT_S if connection.is_streaming else WRITE_STALL_TIMEOUT_S
             ):
--- a/tests/gateway/resp/test_connection_close.py
+++ b/tests/gateway/resp/test_connection_close.py
@@ -328,6 +328,17 @@
         listener.stop()
 
 
+async def stall(listener: RespListener, connection: RespClientConnection, timeout_s: float) -> None:
+    """Let time pass in which the client reads nothing, until its connection is closed.
+
+    The system may send on for some time behind the client's last read, which counts as progress.
+    """
+    while listener.connections:
+        connection.write_stalled_since_s -= timeout_s
+        listener.sweep()
+        await asyncio.sleep(0)
+
+
 def test_a_client_that_stops_reading_responses_is_disconnected() -> None:
     """Regression: once the first of two writes had been sent, the connection no longer counted as stalled."""
 
@@ -348,9 +359,7 @@
                 and connection.write_stalled_since_s < math.inf
                 and received < 120_000
             )
-            connection.write_stalled_since_s -= WRITE_STALL_TIMEOUT_S
-            listener.sweep()
-            await until(lambda: not listener.connections)
+            await stall(listener, connection, WRITE_STALL_TIMEOUT_S)
 
     run_test(test)
 
@@ -370,9 +379,7 @@
             listener.sweep()
             await asyncio.sleep(0)
             assert listener.connections  # the write stall timeout has not expired
-            connection.write_stalled_since_s -= WRITE_STALL_TIMEOUT_S
-            listener.sweep()
-            await until(lambda: not listener.connections)
+            await stall(listener, connection, WRITE_STALL_TIMEOUT_S)
 
     run_test(test)
 
--- /dev/null
+++ b/tests/gateway/resp/test_slow_readers.py
@@ -0,0 +1,129 @@
+"""Clients that take long to read a response: they get all of it, also from a gateway that drains."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import AsyncIterator
+
+import pytest
+
+from badgeryoke.gateway.application import GatewayApplication
+from badgeryoke.gateway.connecting import unacknowledged_bytes
+from badgeryoke.gateway.graceful_shutdown import ShutdownEvent
+from badgeryoke.gateway.resp.client_connection import MAX_PIPELINED_REQUESTS, RespClientConnection
+from badgeryoke.gateway.resp.listener import STREAM_STALL_TIMEOUT_S
+from tests.support.running import run_test, until
+from tests.support.stand_ins import one_gateway, query
+
+VALUE = b"v" * 300_000  # streamed, and short enough for the system's buffers
+RESPONSE = b"$%d\r\n%b\r\n" % (len(VALUE), VALUE)
+SMALL_BUFFER_BYTES = 8192
+
+
+@contextlib.asynccontextmanager
+async def slow_client(
+    small_buffers: bool = False,
+) -> AsyncIterator[tuple[GatewayApplication, socket.socket, RespClientConnection]]:
+    """A client that has asked for a long value, and the gateway's connection to it."""
+    script = [b"*1\r\n" + RESPONSE]
+    async with one_gateway(script=script) as (app, _, _):
+        with socket.socket() as client_socket:
+            if small_buffers:
+                client_socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+            client_socket.connect(app.lifecycle.address[:2])
+            client_socket.setblocking(False)
+            await until(lambda: app.parts.resp_listener.connections)
+            [connection] = app.parts.resp_listener.connections
+            if small_buffers:
+                connection._stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER_BYTES)
+            await asyncio.get_running_loop().sock_sendall(client_socket, query())
+            yield app, client_socket, connection
+
+
+async def receive(client_socket: socket.socket, size: int = 65536) -> bytes:
+    return await asyncio.get_running_loop().sock_recv(client_socket, size)
+
+
+async def receive_all(client_socket: socket.socket, received: bytes = b"") -> bytes:
+    """Read to the end of the connection."""
+    while data := await receive(client_socket):
+        received += data
+    return received
+
+
+async def until_handed_over(connection: RespClientConnection) -> None:
+    """Wait until the gateway has given the whole value to the system, and nothing is read yet."""
+    await until(lambda: connection.has_sent_command)
+    await until(lambda: not connection._slots and not connection._stream.writing())
+    assert unacknowledged_bytes(connection._stream)
+
+
+@pytest.mark.parametrize(
+    "event", [ShutdownEvent.PAUSE, ShutdownEvent.TERMINATE, ShutdownEvent.SUCCESSOR_READY]
+)
+def test_a_drain_does_not_cut_off_a_value_that_is_still_read(event: ShutdownEvent) -> None:
+    """Regression: the connection was closed over what the client had not received; its next request reset it."""
+
+    async def test() -> None:
+        async with slow_client() as (app, client_socket, connection):
+            await until_handed_over(connection)
+            app.lifecycle.post(event)
+            await until(lambda: connection._draining)
+            connection.drain_now()  # the grace period is over
+            await until(lambda: connection._awaits_delivery or not app.parts.resp_listener.connections)
+            await asyncio.get_running_loop().sock_sendall(client_socket, query("next"))
+            received = await receive_all(client_socket)
+            assert received.startswith(RESPONSE) and received[len(RESPONSE) :].startswith(b"-BUSY ")
+
+    run_test(test)
+
+
+def test_a_client_that_reads_nothing_does_not_hold_a_drain() -> None:
+    async def test() -> None:
+        async with slow_client() as (app, _, connection):
+            await until_handed_over(connection)
+            connection.drain_now()
+            await until(lambda: connection._awaits_delivery)
+            while app.parts.resp_listener.connections:
+                connection.write_stalled_since_s -= STREAM_STALL_TIMEOUT_S
+                app.parts.resp_listener.sweep()
+                await asyncio.sleep(0)
+
+    run_test(test)
+
+
+def test_requests_in_the_socket_are_answered_when_the_grace_period_ends() -> None:
+    """Regression: behind the first requests that were answered at once, the rest were dropped in the close."""
+    count = 4 * MAX_PIPELINED_REQUESTS
+
+    async def test() -> None:
+        async with one_gateway(script=[None]) as (app, backend, _):
+            with socket.create_connection(app.lifecycle.address[:2]) as client_socket:
+                client_socket.sendall(query("head"))
+                await until(lambda: backend.commands)
+                client_socket.sendall(b"".join(query(f"r{n}") for n in range(count)))
+                client_socket.setblocking(False)
+                [connection] = app.parts.resp_listener.connections
+                connection.drain_now()
+                backend.writers[0].write(b"*1\r\n$4\r\nhead\r\n")
+                received = await receive_all(client_socket)
+                assert received.startswith(b"$4\r\nhead\r\n") and received.count(b"-BUSY ") == count
+
+    run_test(test)
+
+
+def test_a_client_that_still_reads_is_not_evicted_as_idle() -> None:
+    """Regression: its connection counted as idle once the system had taken the value."""
+
+    async def test() -> None:
+        async with slow_client() as (app, client_socket, connection):
+            await until_handed_over(connection)
+            assert not app.parts.resp_listener._evict_idle_connection(0.0)
+            received = b""
+            while len(received) < len(RESPONSE):
+                received += await receive(client_socket)
+            await until(lambda: app.parts.resp_listener._evict_idle_connection(0.0))
+
+    run_test(test)
