Give each request to a Diameter server an End-to-End Identifier of its own

Cause: session_identifiers (diameter/upstream_request.py) derived the identifier from the CRC-32 of the key alone, and a server drops what repeats Origin-Host and End-to-End Identifier. UpstreamPeer took the answer, which named the other session, by its Hop-by-Hop Identifier.

Change: EndToEndIds allocates the identifiers. An answer of another session is a failure.

The golden bytes stay: the golden test passes the checksum as identifier, which the encoder takes as an argument now.

--- a/badgeryoke/gateway/diameter/upstream_connection.py
+++ b/badgeryoke/gateway/diameter/upstream_connection.py
@@ -10,13 +10,18 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from badgeryoke.gateway.actor import Actor, ActorScheduler
-from badgeryoke.gateway.attempt import Attempt
+from badgeryoke.gateway.attempt import Attempt, Request
 from badgeryoke.gateway.connecting import dial
 from badgeryoke.gateway.diameter import codec
 from badgeryoke.gateway.diameter.codec import Avp, Fault, Message
 from badgeryoke.gateway.diameter.dictionary import CommandCode, ResultCode
+from badgeryoke.gateway.diameter.end_to_end_ids import EndToEndIds
 from badgeryoke.gateway.diameter.peer import Peer, PeerIdentity, PeerState
-from badgeryoke.gateway.diameter.upstream_request import encode_request, end_attempt
+from badgeryoke.gateway.diameter.upstream_request import (
+    answers_another_request,
+    encode_request,
+    end_attempt,
+)
 
 if TYPE_CHECKING:
     from badgeryoke.gateway.cluster.upstream_lease import UpstreamLease
@@ -75,6 +80,10 @@
             attempt.not_sent("too many attempts in flight")
             return
         request, owner = attempt.request, self._owner
+        end_to_end_id = owner.end_to_end_id(request)
+        if end_to_end_id is None:
+            attempt.not_sent("no End-to-End Identifier is free")
+            return
         hop_by_hop_id = self.next_id()
         retransmitted = attempt.potential_duplicate or (request.retry and bool(request.idempotency_key))
         self.in_flight[hop_by_hop_id] = attempt
@@ -83,7 +92,13 @@
         service = owner.services.get(request.plan)
         self._outgoing.append(
             encode_request(
-                request, self.identity, bool(request.idempotent), service, hop_by_hop_id, retransmitted
+                request,
+                self.identity,
+                bool(request.idempotent),
+                service,
+                hop_by_hop_id,
+                end_to_end_id,
+                retransmitted,
             )
         )
         self._unwritten.append(attempt)
@@ -134,7 +149,10 @@
         if attempt is None:
             return  # the answer to an attempt that was abandoned
         attempt.on_abort = None
-        if fault := end_attempt(attempt, avps):
+        if answers_another_request(attempt, self.identity.realm, avps):
+            attempt.failed("answer to another request")
+            self._owner.log_first_fault("answered a request with the session of another one")
+        elif fault := end_attempt(attempt, avps):
             self._owner.log_first_fault(fault)
         self.disconnect_if_drained()
 
@@ -161,9 +179,11 @@
         connect_ms: float,
         idle_ms: float,
         watchdog_s: float,
+        end_to_end_ids: EndToEndIds,
         lease: UpstreamLease | None = None,
     ) -> None:
         super().__init__(loop)
+        self._end_to_end_ids = end_to_end_ids
         self.lease = lease  # enforces the server's connection limit over all gateways of the cluster
         self.address, self.clock, self.identity = address, clock, identity
         self.services = services
@@ -224,6 +244,12 @@
         )
         await connection.read()
 
+    def end_to_end_id(self, request: Request) -> int | None:
+        """The End-to-End Identifier of a request, the same for all its attempts; None if none is free."""
+        if request.idempotency_key:
+            return self._end_to_end_ids.of_key(request.idempotency_key)
+        return self._end_to_end_ids.of_request(request.id)
+
     def connection_opened(self, connection: UpstreamPeer) -> None:
         """Send the attempts that waited for this connection."""
         waiting, self._waiting = self._waiting, []
--- a/badgeryoke/gateway/diameter/upstream_request.py
+++ b/badgeryoke/gateway/diameter/upstream_request.py
@@ -13,15 +13,14 @@
 SERVICE_CONTEXT = "load@badgeryoke"
 
 
-def session_identifiers(request: Request, realm: str) -> tuple[str, int]:
-    """Return the Session-Id and the End-to-End Identifier.
+def session_id(request: Request, realm: str) -> str:
+    """Return the Session-Id.
 
-    With an idempotency key, they are derived from the key alone, so that a server recognizes a duplicate that
-    was sent by another gateway.
+    With an idempotency key, it is derived from the key alone, so that a server recognizes a duplicate that was sent
+    by another gateway.
     """
     identifier = request.idempotency_key or request.id
-    checksum = zlib.crc32(identifier.encode())
-    return f"{realm};{len(identifier)};{checksum};{identifier}", checksum
+    return f"{realm};{len(identifier)};{zlib.crc32(identifier.encode())};{identifier}"
 
 
 def _subscription_avp(customer: int) -> Avp:
@@ -40,12 +39,12 @@
     idempotent: bool,
     service: int | None,
     hop_by_hop_id: int,
+    end_to_end_id: int,
     retransmitted: bool,
 ) -> bytes:
     """Encode the Credit-Control-Request of a one-time event."""
-    session_id, end_to_end_id = session_identifiers(request, identity.realm)
     avps = [
-        codec.text_avp(AvpCode.SESSION_ID, session_id),
+        codec.text_avp(AvpCode.SESSION_ID, session_id(request, identity.realm)),
         codec.text_avp(AvpCode.ORIGIN_HOST, identity.host),
         codec.text_avp(AvpCode.ORIGIN_REALM, identity.realm),
         codec.text_avp(AvpCode.DESTINATION_REALM, identity.realm),
@@ -74,6 +73,14 @@
     ).encode()
 
 
+def answers_another_request(attempt: Attempt, realm: str, avps: list[Avp] | Fault) -> bool:
+    """Whether a CCA names another session than the request: a server took the request for a duplicate of that one."""
+    if isinstance(avps, Fault):
+        return False
+    session = codec.find_avp(avps, AvpCode.SESSION_ID)
+    return session is not None and session.data != session_id(attempt.request, realm).encode()
+
+
 def end_attempt(attempt: Attempt, avps: list[Avp] | Fault) -> str | None:
     """End an attempt according to its CCA; return a description of what was malformed, or None.
 
--- a/badgeryoke/gateway/upstream_directory.py
+++ b/badgeryoke/gateway/upstream_directory.py
@@ -8,6 +8,7 @@
 from badgeryoke.decisions.interface import EndpointState
 from badgeryoke.gateway.actor import ActorScheduler
 from badgeryoke.gateway.config.model import Config
+from badgeryoke.gateway.diameter.end_to_end_ids import EndToEndIds
 from badgeryoke.gateway.diameter.peer import PeerIdentity
 from badgeryoke.gateway.diameter.upstream_connection import DiameterUpstream
 from badgeryoke.gateway.discovery.endpoint_list import Endpoint
@@ -47,6 +48,7 @@
     ) -> None:
         self._config, self._loop, self._clock = config, loop, clock
         self._stream_budget, self._identity = stream_budget, identity
+        self._end_to_end_ids = EndToEndIds(loop.time, identity.origin_state_id if identity else 0)
         self._diameter_services: dict[str, int] = {}
         if config.diameter is not None:
             self._diameter_services = {plan: number for number, plan in config.diameter.plans.items()}
@@ -119,6 +121,7 @@
             connect_ms=self._config.connect_ms,
             idle_ms=self._config.idle_ms,
             watchdog_s=watchdog_s,
+            end_to_end_ids=self._end_to_end_ids,
             lease=lease,
         )
 
--- a/tests/gateway/diameter/test_diameter.py
+++ b/tests/gateway/diameter/test_diameter.py
@@ -17,6 +17,7 @@
 from badgeryoke.gateway.attempt import Attempt, Request
 from badgeryoke.gateway.config.model import Config
 from badgeryoke.gateway.diameter import client_connection, upstream_connection
+from badgeryoke.gateway.diameter.end_to_end_ids import EndToEndIds
 from badgeryoke.gateway.diameter.peer import Peer, PeerState
 from badgeryoke.gateway.diameter.peer import PeerIdentity as PeerIdentity
 from badgeryoke.gateway.diameter.upstream_connection import DiameterUpstream
@@ -520,6 +521,7 @@
         connect_ms=100.0,
         idle_ms=100.0,
         watchdog_s=30.0,
+        end_to_end_ids=EndToEndIds(loop.time, 0),
     )
     connection = upstream_connection.UpstreamPeer(cast(IOStream, BlockedStream()), owner, loop, 30.0)
     connection.state = PeerState.OPEN
--- a/tests/gateway/diameter/test_golden_diameter.py
+++ b/tests/gateway/diameter/test_golden_diameter.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import struct
+import zlib
 from collections.abc import Callable
 from typing import cast
 
@@ -64,7 +65,13 @@
         (
             name,
             upstream_request.encode_request(
-                request, IDENTITY, idempotent, service, FIRST_ID + index, retransmitted
+                request,
+                IDENTITY,
+                idempotent,
+                service,
+                FIRST_ID + index,
+                zlib.crc32((request.idempotency_key or request.id).encode()),
+                retransmitted,
             ),
         )
         for index, (name, request, idempotent, service, retransmitted) in enumerate(CCRS)
--- a/tests/support/connection_leases.py
+++ b/tests/support/connection_leases.py
@@ -22,6 +22,7 @@
 from badgeryoke.gateway.cluster.clock import boot_time_ms
 from badgeryoke.gateway.cluster.connection_leases import ConnectionLeases
 from badgeryoke.gateway.cluster.settings import ClusterSettings, Servers
+from badgeryoke.gateway.diameter.end_to_end_ids import EndToEndIds
 from badgeryoke.gateway.diameter.peer import PeerIdentity
 from badgeryoke.gateway.diameter.upstream_connection import DiameterUpstream
 from badgeryoke.gateway.resp.upstream_connection import RespUpstream
@@ -60,6 +61,7 @@
                 connect_ms=LONG_CONNECT_TIMEOUT_MS,
                 idle_ms=30_000.0,
                 watchdog_s=30.0,
+                end_to_end_ids=EndToEndIds(self.scheduler.time, 0),
                 lease=lease,
             )
             if diameter
