--- a/badgeryoke/gateway/resp/client_connection.py
+++ b/badgeryoke/gateway/resp/client_connection.py
@@ -183,6 +183,7 @@
         self._undelivered_bytes = 0  # held by the system for the client, at the last check
         self._handling_data = False  # the last chunk read is being handled
         self._unsent_bytes = 0  # bytes written to the stream but not yet to the socket
+        self._sends_stream = False  # since the first bytes of a streamed value, until the client has it all
         self._last_write_s = -math.inf  # when a response was last written
         self._may_read = asyncio.Event()
         self.has_sent_command = False  # a complete command has been received
@@ -240,8 +241,16 @@
 
     @property
     def is_streaming(self) -> bool:
-        """Whether a streamed value is being sent."""
-        return bool(self._slots) and self._slots[0].response_stream is not None
+        """Whether the client still receives a streamed value, or has it to receive from the system."""
+        return self._sends_stream
+
+    @property
+    def undelivered_text(self) -> str:
+        """What the client has not received, for the log."""
+        return (
+            f"{self._unsent_bytes} bytes unsent, {unacknowledged_bytes(self._stream)} in the system, "
+            f"{len(self._slots)} requests open, {'a' if self.is_streaming else 'no'} long value"
+        )
 
     def abort(self) -> None:
         """Close at once: for an idle connection, or one whose client does not read its responses."""
@@ -405,6 +414,8 @@
 
     def batch_ended(self) -> None:
         """Write all responses that are ready at the head of the queue, in one write."""
+        if self._sends_stream:
+            self._check_stream_received()
         self._start_commands()
         slots = self._slots
         out: list[bytes | None] = []
@@ -443,6 +454,12 @@
             self._closing = True
             self._close_gracefully()
 
+    def _check_stream_received(self) -> None:
+        """Note whether the client has received the end of the last streamed value."""
+        is_ended = not self._slots or self._slots[0].response_stream is None
+        if is_ended and not self._stream.writing() and not unacknowledged_bytes(self._stream):
+            self._sends_stream = False
+
     def _write_finished(self, done: asyncio.Future[None], size: int, held_bytes: int) -> None:
         """Account for a finished write; also retrieves the exception of a write interrupted by a close."""
         self._unsent_bytes -= size
@@ -469,6 +486,7 @@
             return False
         if self._stream.writing():
             return False
+        self._sends_stream = True
         if slot.reply:
             out.append(slot.reply)
             slot.reply = b""
--- a/badgeryoke/gateway/resp/listener.py
+++ b/badgeryoke/gateway/resp/listener.py
@@ -200,6 +200,7 @@
             if now - connection.write_stalled_since_s >= (
                 STREAM_STALL_TIMEOUT_S if connection.is_streaming else WRITE_STALL_TIMEOUT_S
             ):
+                log.info("client given up, it reads nothing: %s", connection.undelivered_text)
                 connection.abort()
             elif (
                 now - connection.idle_since_s >= IDLE_TIMEOUT_S and connection.is_idle
--- a/tests/gateway/resp/test_slow_readers.py
+++ b/tests/gateway/resp/test_slow_readers.py
@@ -13,7 +13,7 @@
 from badgeryoke.gateway.connecting import unacknowledged_bytes
 from badgeryoke.gateway.graceful_shutdown import ShutdownEvent
 from badgeryoke.gateway.resp.client_connection import MAX_PIPELINED_REQUESTS, RespClientConnection
-from badgeryoke.gateway.resp.listener import STREAM_STALL_TIMEOUT_S
+from badgeryoke.gateway.resp.listener import STREAM_STALL_TIMEOUT_S, WRITE_STALL_TIMEOUT_S
 from tests.support.running import run_test, until
 from tests.support.stand_ins import one_gateway, query
 
@@ -25,10 +25,10 @@
 @contextlib.asynccontextmanager
 async def slow_client(
     small_buffers: bool = False,
+    script: list[bytes] | None = None,
 ) -> AsyncIterator[tuple[GatewayApplication, socket.socket, RespClientConnection]]:
     """A client that has asked for a long value, and the gateway's connection to it."""
-    script = [b"*1\r\n" + RESPONSE]
-    async with one_gateway(script=script) as (app, _, _):
+    async with one_gateway(script=script or [b"*1\r\n" + RESPONSE]) as (app, _, _):
         with socket.socket() as client_socket:
             if small_buffers:
                 client_socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
@@ -53,6 +53,11 @@
     return received
 
 
+def has_received(connection: RespClientConnection) -> bool:
+    """Whether the gateway's side shows that the client has received bytes since the last sweep."""
+    return unacknowledged_bytes(connection._stream) != connection._undelivered_bytes
+
+
 async def until_handed_over(connection: RespClientConnection) -> None:
     """Wait until the gateway has given the whole value to the system, and nothing is read yet."""
     await until(lambda: connection.has_sent_command)
@@ -127,3 +132,52 @@
             await until(lambda: app.parts.resp_listener._evict_idle_connection(0.0))
 
     run_test(test)
+
+
+def test_a_slow_but_steady_reader_of_short_values_is_not_given_up() -> None:
+    """Regression: only the stream's own writes counted as progress, and a slow reader lets them rest for seconds."""
+    count = 3
+    short = b"*1\r\n$60000\r\n" + b"s" * 60_000 + b"\r\n"
+
+    async def test() -> None:
+        async with slow_client(small_buffers=True, script=[short] * count) as (
+            app,
+            client_socket,
+            connection,
+        ):
+            await asyncio.get_running_loop().sock_sendall(
+                client_socket, b"".join(query(f"more{n}") for n in range(count - 1))
+            )
+            await until(lambda: connection._stream.writing())
+            received = b""
+            while len(received) < count * len(short[4:]):
+                received += await receive(client_socket, 4096)
+                if has_received(connection):
+                    connection.write_stalled_since_s -= 2 * WRITE_STALL_TIMEOUT_S
+                    app.parts.resp_listener.sweep()
+                    assert not connection._stream.closed()
+            assert received == short[4:] * count
+
+    run_test(test)
+
+
+def test_the_end_of_a_streamed_value_is_not_cut_off() -> None:
+    """Regression: with its last bytes in the stream, a value no longer counted as one, nor the client as reading."""
+
+    async def test() -> None:
+        async with slow_client(small_buffers=True) as (app, client_socket, connection):
+            received = b""
+            while not received or connection._slots:
+                received += await receive(client_socket, 4096)
+            assert connection._stream.writing()
+            connection.write_stalled_since_s -= 2 * WRITE_STALL_TIMEOUT_S
+            app.parts.resp_listener.sweep()
+            assert not connection._stream.closed()
+            while len(received) < len(RESPONSE):
+                received += await receive(client_socket, 4096)
+                if has_received(connection):
+                    connection.write_stalled_since_s -= 2 * STREAM_STALL_TIMEOUT_S
+                    app.parts.resp_listener.sweep()
+            assert received == RESPONSE
+
+    run_test(test)
