Wait 10 s for a server that pauses within a long value

Cause: STREAM_SILENCE_TIMEOUT_MS (resp/upstream_connection.py) was 3 s, and a longer pause counted as a spoilt answer.

Change: 10 s, as long as a client has for a chunk. A value that never ends is still cut off so that its client can tell.

--- a/badgeryoke/gateway/resp/upstream_connection.py
+++ b/badgeryoke/gateway/resp/upstream_connection.py
@@ -47,7 +47,9 @@
 # An attempt fails after this long without a byte in the middle of its response: the response states a wrong length
 # or is never completed.
 RESPONSE_SILENCE_TIMEOUT_MS = 50.0
-STREAM_SILENCE_TIMEOUT_MS = 3000.0  # the same timeout for a streamed value
+# The same timeout for a streamed value: servers may pause for seconds, and what is cut off is lost to the client.  A
+# client has as long to read a chunk (resp/listener.py).
+STREAM_SILENCE_TIMEOUT_MS = 10_000.0
 STREAM_READ_BYTES = 16 * 1024  # bytes of a streamed value read at a time
 MAX_LOAD_REPORT_BYTES = 256
 MAX_REPORTED_VALUE = 1e9  # bound of each value in a load report
--- a/tests/gateway/test_response_stream.py
+++ b/tests/gateway/test_response_stream.py
@@ -17,7 +17,7 @@
     ResponseStream,
 )
 from tests.support.running import run_test, send_commands, until
-from tests.support.stand_ins import connect, one_gateway, query
+from tests.support.stand_ins import NOW_MS, connect, one_gateway, query
 
 TAIL = b"\r\n$13\r\nused=1,cost=2\r\n$23\r\ninflight=1,latency_ms=9\r\n"
 
@@ -196,6 +196,33 @@
     run_test(test)
 
 
+def test_a_server_that_pauses_for_seconds_within_a_long_value_is_waited_for() -> None:
+    """Regression: a value was cut off 3 s after its last piece, though its server still gave the rest."""
+
+    async def test() -> None:
+        async with one_gateway(script=[None]) as (app, backend, _):
+            reader, writer = await connect(app.lifecycle.address)
+            writer.write(query())
+            await until(lambda: backend.commands)
+            upstream = app.parts.upstreams.by_number[1][1]
+            assert isinstance(upstream, upstream_connection_module.RespUpstream)
+            passed_ms = 0.0
+            upstream._clock = lambda: NOW_MS + passed_ms
+            backend.writers[0].write(b"*3\r\n$70000\r\nfirst")
+            assert await reader.readexactly(13) == b"$70000\r\nfirst"
+            passed_ms = 9000.0
+            [connection] = upstream._connections
+            assert connection.attempt is not None
+            upstream.deliver(upstream._check_response_silence, connection, connection.attempt)
+            for _ in range(3):  # what the check found is carried out in a later turn
+                await asyncio.sleep(0)
+            backend.writers[0].write(b"x" * 69_995 + TAIL)
+            assert await reader.readexactly(69_997) == b"x" * 69_995 + b"\r\n"
+            writer.close()
+
+    run_test(test)
+
+
 def test_a_client_that_disconnects_midway_ends_the_attempt() -> None:
     async def test() -> None:
         async with one_gateway(script=[None]) as (app, backend, _):
