Receive long commands only while there is room, in place of cutting slow writers off

With 400 that stopped half way the process rose from 31 to 56 MB.

Change: RequestBudget grants room for a command of more than 4 KiB before it is received; until then its connection is not read. A client that has stopped is given up after 2.6 s as before. buffered_bytes counts what is received and no longer what is announced.

--- a/badgeryoke/gateway/connecting.py
+++ b/badgeryoke/gateway/connecting.py
@@ -53,10 +53,19 @@
 
 def unacknowledged_bytes(stream: IOStream) -> int:
     """Bytes that the system still holds for the peer: written to the socket, and not acknowledged (SIOCOUTQ)."""
+    return _count(stream, termios.TIOCOUTQ)
+
+
+def unread_bytes(stream: IOStream) -> int:
+    """Bytes that the system has received from the peer and that were not read yet (SIOCINQ)."""
+    return _count(stream, termios.FIONREAD)
+
+
+def _count(stream: IOStream, call: int) -> int:
     if stream.closed():
         return 0
     try:
-        counted = fcntl.ioctl(stream.socket, termios.TIOCOUTQ, bytes(COUNT_FORMAT.size))
+        counted = fcntl.ioctl(stream.socket, call, bytes(COUNT_FORMAT.size))
     except OSError:  # this kind of socket has no such count
         return 0
     return int(COUNT_FORMAT.unpack(counted)[0])
--- a/badgeryoke/gateway/parts.py
+++ b/badgeryoke/gateway/parts.py
@@ -18,6 +18,7 @@
 from badgeryoke.gateway.dispatcher import Dispatcher
 from badgeryoke.gateway.quota_counter.client import QuotaCounterClient
 from badgeryoke.gateway.resp.listener import RespListener
+from badgeryoke.gateway.resp.request_budget import RequestBudget
 from badgeryoke.gateway.resp.response_budget import ResponseBudget
 from badgeryoke.gateway.response_stream import BufferBudget
 from badgeryoke.gateway.upstream_directory import UpstreamDirectory
@@ -142,6 +143,7 @@
         int(buffer_bytes * (PARTIAL_COMMANDS_FRACTION + RESPONSES_FRACTION)),
         int(config.sockets * CROWDED_CLIENTS_FRACTION),
         ResponseBudget(int(buffer_bytes * RESPONSES_FRACTION)),
+        RequestBudget(int(buffer_bytes * PARTIAL_COMMANDS_FRACTION)),
     )
 
 
--- a/badgeryoke/gateway/resp/client_connection.py
+++ b/badgeryoke/gateway/resp/client_connection.py
@@ -17,7 +17,7 @@
 
 from badgeryoke.gateway.actor import Actor, ActorScheduler
 from badgeryoke.gateway.attempt import Request, parse_customer
-from badgeryoke.gateway.connecting import has_unread_data, unacknowledged_bytes
+from badgeryoke.gateway.connecting import has_unread_data, unacknowledged_bytes, unread_bytes
 from badgeryoke.gateway.dispatcher import Dispatcher
 from badgeryoke.gateway.resp.codec import (
     MAX_BULK_BYTES,
@@ -29,6 +29,7 @@
     parse_number,
     parse_pairs,
 )
+from badgeryoke.gateway.resp.request_budget import SHORT_COMMAND_BYTES, RequestBudget, RequestReservation
 from badgeryoke.gateway.resp.response_budget import BudgetShare, ResponseBudget
 from badgeryoke.gateway.response_stream import ResponseStream
 from badgeryoke.gateway.responses import Rejected, Response, Served, Streaming
@@ -41,6 +42,7 @@
 # A request id or an idempotency key: printable, without blank or comma.
 REQUEST_ID_PATTERN = re.compile(r"[!-+\--~]{1,64}")
 MAX_FIELD_LIST_BYTES = 1024  # length of the argument with the name=value fields
+MAX_COMMAND_BYTES = MAX_BULK_BYTES + 2 * MAX_FIELD_LIST_BYTES  # all arguments of a command together
 MAX_MALFORMED_COMMANDS = 3  # a connection is closed at this many
 # Syntactic bounds; the dispatcher checks narrower ones.
 MAX_DEADLINE_MS, MAX_UNITS, MAX_GATEWAYS = 1e7, 1e6, 1_000_000
@@ -158,8 +160,14 @@
         is_ready: Callable[[], bool],
         on_closed: Callable[[RespClientConnection], None],
         budget: ResponseBudget,
+        request_budget: RequestBudget,
     ) -> None:
         super().__init__(loop)
+        self._request_budget = request_budget
+        self._reservation: RequestReservation | None = None  # for the long command being received
+        self._unread_bytes = (
+            0  # in the socket of a connection that waits for the reservation, at the last check
+        )
         self._budget = budget
         self._budget_share = BudgetShare(budget)
         self._stream, self._dispatcher, self._is_ready, self._on_closed = (
@@ -168,9 +176,7 @@
             is_ready,
             on_closed,
         )
-        self._parser = RespParser(
-            max_items=5, max_depth=1, max_array_bytes=MAX_BULK_BYTES + 2 * MAX_FIELD_LIST_BYTES
-        )
+        self._parser = RespParser(max_items=5, max_depth=1, max_array_bytes=MAX_COMMAND_BYTES)
         self._malformed_count = 0
         self._slots: deque[_ResponseSlot] = deque()
         self._unstarted: deque[_ResponseSlot] = deque()  # the last slots, whose commands wait for the budget
@@ -226,9 +232,15 @@
         return (
             len(self._slots) >= MAX_PIPELINED_REQUESTS
             or bool(self._unstarted)
+            or self._awaits_reservation
             or (self._input_ended and bool(self._slots))
         )
 
+    @property
+    def _awaits_reservation(self) -> bool:
+        """Whether a long command waits until there is room for it."""
+        return self._reservation is not None and not self._reservation.granted
+
     @property
     def buffered_bytes(self) -> int:
         """Bytes buffered of an incomplete command and of responses not sent yet."""
@@ -264,7 +276,7 @@
         """
         if self._slots or self._is_behind:
             self.drain_now()
-        elif not self._has_unhandled_data and not has_unread_data(self._stream):
+        elif self._awaits_reservation or (not self._has_unhandled_data and not has_unread_data(self._stream)):
             self._stream.close()
 
     def reject(self) -> None:
@@ -294,7 +306,9 @@
                 self._handling_data = False
                 if self._backpressured:
                     # The gateway, not the client, delays the rest of the command: suspend the command timeout.
-                    self.command_started_s = math.inf
+                    # Only one that waits for a reservation may not have sent the rest: see record_progress().
+                    self.command_started_s = self._loop.time() if self._awaits_reservation else math.inf
+                    self._unread_bytes = 0
                     await self._wait_for_capacity()
                     if not self._parser.is_idle:
                         self.command_started_s = self._loop.time()
@@ -326,6 +340,7 @@
             slot = _ResponseSlot(command=value)
             self._slots.append(slot)
             self._unstarted.append(slot)
+        self._update_reservation()
         self._start_commands()
         if self._input_ended:
             return
@@ -340,6 +355,20 @@
             self._slots.append(slot)
             self._input_ended = self._closing = True
 
+    def _update_reservation(self) -> None:
+        """Reserve room for a long command once its length is known, and release it once it is complete."""
+        is_long = self._parser.announced_bytes > SHORT_COMMAND_BYTES
+        if is_long and self._reservation is None:
+            self._reservation = RequestReservation(MAX_COMMAND_BYTES, self._may_read.set)
+            self._request_budget.reserve(self._reservation)
+        elif not is_long and self._reservation is not None:
+            self._release_reservation()
+
+    def _release_reservation(self) -> None:
+        reservation, self._reservation = self._reservation, None
+        if reservation is not None:
+            self._request_budget.release(reservation)
+
     def _start_commands(self) -> None:
         """Start the commands that were received, in order, while the budget has room for their responses."""
         while self._unstarted and self._may_start(self._unstarted[0]):
@@ -554,10 +583,17 @@
         self.write_stalled_since_s = self._loop.time()
 
     def record_progress(self) -> None:
-        """Note whether the client has received bytes since the last call, while responses wait for it.
+        """Note whether the client has sent or received bytes since the last call, where the stream does not show it.
 
-        The stream's own writes do not show that: the system takes no more until a third of its buffer is free.
+        The system takes no more responses until a third of its buffer is free, and a connection that waits for room
+        is not read.
         """
+        if self._awaits_reservation:
+            unread, self._unread_bytes = self._unread_bytes, unread_bytes(self._stream)
+            # The stream may have read one more chunk.
+            received_bytes = self._parser.buffered_bytes + READ_CHUNK_BYTES + self._unread_bytes
+            if unread != self._unread_bytes or received_bytes >= self._parser.announced_bytes:
+                self.command_started_s = self._loop.time()
         if self.write_stalled_since_s == math.inf:
             return
         if unacknowledged_bytes(self._stream) != self._undelivered_bytes:
@@ -598,6 +634,7 @@
         slots, self._slots = self._slots, deque()
         self._unstarted.clear()
         self._budget_share.close()
+        self._release_reservation()
         self._may_read.set()
         for slot in slots:
             if slot.notify_disconnected is not None:
--- a/badgeryoke/gateway/resp/codec.py
+++ b/badgeryoke/gateway/resp/codec.py
@@ -74,7 +74,13 @@
     @property
     def buffered_bytes(self) -> int:
         """Bytes buffered of incomplete values."""
-        return len(self._buffer) + (self._array_bytes if self._open_arrays else 0)
+        complete_items_bytes = self._array_bytes - (self._bulk_length or 0) if self._open_arrays else 0
+        return len(self._buffer) + complete_items_bytes
+
+    @property
+    def announced_bytes(self) -> int:
+        """The size of the value being parsed, as far as its lengths have been received."""
+        return 0 if self.is_idle else self._array_bytes
 
     def reset_stream(self) -> None:
         """Clear the state of a streamed value once its owner has handled it."""
--- a/badgeryoke/gateway/resp/listener.py
+++ b/badgeryoke/gateway/resp/listener.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import socket
 
@@ -11,7 +12,12 @@
 from badgeryoke.gateway.actor import ActorScheduler
 from badgeryoke.gateway.discovery.client import DiscoveryClient
 from badgeryoke.gateway.dispatcher import Dispatcher
-from badgeryoke.gateway.resp.client_connection import READ_CHUNK_BYTES, RespClientConnection
+from badgeryoke.gateway.resp.client_connection import (
+    MAX_COMMAND_BYTES,
+    READ_CHUNK_BYTES,
+    RespClientConnection,
+)
+from badgeryoke.gateway.resp.request_budget import RequestBudget
 from badgeryoke.gateway.resp.response_budget import ResponseBudget
 
 log = logging.getLogger(__name__)
@@ -27,6 +33,8 @@
 # so that many idle clients cannot use up the whole bound and lock others out.
 MIN_IDLE_WHEN_CROWDED_S = 0.3
 MAX_READ_BUFFER_BYTES = 128 * 1024  # bound of data read from a client and not yet handled
+# The system's buffer holds a whole command, so that one that waits for room can be told from one that was not finished.
+SYSTEM_READ_BUFFER_BYTES = 2 * MAX_COMMAND_BYTES
 WRITE_STALL_TIMEOUT_S = 2.5  # time for a client to read its responses
 STREAM_STALL_TIMEOUT_S = 10.0  # time for a client to read a chunk of a streamed value
 BACKLOG = 512  # length of the kernel's accept queue
@@ -48,8 +56,9 @@
         max_buffered_bytes: int,
         crowded_count: int,
         response_budget: ResponseBudget,
+        request_budget: RequestBudget,
     ) -> None:
-        self._response_budget = response_budget
+        self._response_budget, self._request_budget = response_budget, request_budget
         self._crowded_count = crowded_count
         self._max_buffered_bytes = max_buffered_bytes
         self._dispatcher, self._loop, self._max_connections, self._discovery = (
@@ -129,6 +138,8 @@
             client_socket, max_buffer_size=MAX_READ_BUFFER_BYTES, read_chunk_size=READ_CHUNK_BYTES
         )
         stream.set_nodelay(True)
+        with contextlib.suppress(OSError):
+            client_socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SYSTEM_READ_BUFFER_BYTES)
         full = len(self.connections) >= self._max_connections and not self._evict_idle_connection(
             MIN_EVICTION_IDLE_S
         )
@@ -139,6 +150,7 @@
             self.ready,
             self._connection_closed,
             self._response_budget,
+            self._request_budget,
         )
         self.connections[connection] = None  # registered first, so that shutdown waits for it
         if full:
--- a/tests/gateway/resp/test_client_connection.py
+++ b/tests/gateway/resp/test_client_connection.py
@@ -19,6 +19,7 @@
 from badgeryoke.gateway.actor import ActorScheduler
 from badgeryoke.gateway.attempt import Request
 from badgeryoke.gateway.resp.client_connection import MAX_PIPELINED_REQUESTS, RespClientConnection
+from badgeryoke.gateway.resp.request_budget import RequestBudget
 from badgeryoke.gateway.resp.response_budget import ResponseBudget
 from badgeryoke.gateway.wall_clock import WallClock
 from tests.decisions.test_simulator_adapter import PARAMS
@@ -334,6 +335,7 @@
             lambda: True,
             lambda _: None,
             ResponseBudget(10**9),
+            RequestBudget(10**9),
         )
         serving = asyncio.ensure_future(connection.serve())
         _, writer = await asyncio.open_connection(sock=client_socket)
--- a/tests/gateway/resp/test_connection_close.py
+++ b/tests/gateway/resp/test_connection_close.py
@@ -37,6 +37,7 @@
     RespClientConnection,
 )
 from badgeryoke.gateway.resp.listener import COMMAND_TIMEOUT_S, WRITE_STALL_TIMEOUT_S, RespListener
+from badgeryoke.gateway.resp.request_budget import RequestBudget
 from badgeryoke.gateway.resp.response_budget import ResponseBudget
 from badgeryoke.gateway.responses import Response, Served
 from badgeryoke.gateway.wall_clock import WallClock
@@ -162,6 +163,7 @@
             lambda: True,
             lambda _: None,
             ResponseBudget(10**9),
+            RequestBudget(10**9),
         )
         serving = asyncio.ensure_future(connection.serve())
         client_socket.sendall(b"".join(query(f"r{n}") for n in range(MAX_PIPELINED_REQUESTS)))
@@ -315,6 +317,7 @@
         10**9,
         15,
         ResponseBudget(10**9),
+        RequestBudget(10**9),
     )
     with socket.socket() as listening_socket, socket.socket() as client_socket:
         listening_socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 8192)
