--- a/tests/gateway/resp/test_request_budget.py
+++ b/tests/gateway/resp/test_request_budget.py
@@ -8,6 +8,7 @@
 from dataclasses import replace
 
 from badgeryoke.gateway.application import GatewayApplication
+from badgeryoke.gateway.connecting import has_unread_data
 from badgeryoke.gateway.resp.client_connection import RespClientConnection
 from badgeryoke.gateway.resp.listener import COMMAND_TIMEOUT_S
 from badgeryoke.gateway.resp.request_budget import RequestBudget, RequestReservation
@@ -39,6 +40,13 @@
     run_test(test)
 
 
+def is_received(connection: RespClientConnection) -> bool:
+    """Whether a connection has read what its client has sent, or is held back."""
+    is_begun = bool(connection._parser.buffered_bytes)
+    is_read = connection._stream.reading() and not has_unread_data(connection._stream)
+    return is_begun and (is_read or connection._backpressured)
+
+
 def waiting(app: GatewayApplication) -> list[RespClientConnection]:
     return [
         connection for connection in app.parts.resp_listener.connections if connection._awaits_reservation
@@ -76,7 +84,7 @@
             asyncio.ensure_future(write_slowly(app, number, half_written)) for number in range(CLIENTS)
         ]
         await until(lambda: len(app.parts.resp_listener.connections) == CLIENTS)
-        await until(lambda: all(c._parser.announced_bytes for c in app.parts.resp_listener.connections))
+        await until(lambda: all(is_received(c) for c in app.parts.resp_listener.connections))
         app.parts.resp_listener.sweep()
         await half_written.wait()
         answers = await asyncio.gather(*writing)
