Hand a client no more of a long value than its window, so that hundreds fit

Cause: 32 KiB a connection whatever the number of streams, 8 MB beside a bound of 6 MB for half commands and responses; and the library's 64 KiB a read on each socket to a server.

Evidence: the new test failed before.

--- a/badgeryoke/gateway/connecting.py
+++ b/badgeryoke/gateway/connecting.py
@@ -12,6 +12,9 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 READ_CHUNK_BYTES = 65536
+SOCKET_READ_BYTES = (
+    16 * 1024
+)  # read from a socket at once; a stream that is not read on buffers up to this much
 COUNT_FORMAT = struct.Struct("i")  # of the ioctl that counts bytes
 
 
@@ -31,7 +34,9 @@
     for the end of connecting, so that data would count as sent on a connection that was never established.  A
     close callback watches the socket, so it has to be set after this call, with `on_close`.
     """
-    stream = IOStream(new_socket(address), max_buffer_size=max_buffered_bytes)
+    stream = IOStream(
+        new_socket(address), max_buffer_size=max_buffered_bytes, read_chunk_size=SOCKET_READ_BYTES
+    )
     return stream, stream.connect(address)
 
 
--- a/badgeryoke/gateway/parts.py
+++ b/badgeryoke/gateway/parts.py
@@ -140,7 +140,7 @@
         loop,
         int(config.sockets * RESP_CLIENTS_FRACTION),
         discovery,
-        int(buffer_bytes * (PARTIAL_COMMANDS_FRACTION + RESPONSES_FRACTION)),
+        int(buffer_bytes * (PARTIAL_COMMANDS_FRACTION + RESPONSES_FRACTION + STREAMS_FRACTION)),
         int(config.sockets * CROWDED_CLIENTS_FRACTION),
         ResponseBudget(int(buffer_bytes * RESPONSES_FRACTION)),
         RequestBudget(int(buffer_bytes * PARTIAL_COMMANDS_FRACTION)),
--- a/badgeryoke/gateway/resp/client_connection.py
+++ b/badgeryoke/gateway/resp/client_connection.py
@@ -63,7 +63,8 @@
 READ_CHUNK_BYTES = 4096
 DISCONNECT_CHECK_INTERVAL_S = 0.05  # applies while backpressure suspends reading from a client
 MAX_UNSENT_BYTES = 128 * 1024  # bound of the stream's write buffer; a single response may be longer
-STREAM_CHUNK_BYTES = 32 * 1024  # chunk of a streamed value; the next one is written when this one is sent
+# Largest chunk of a streamed value; the next one is written when this one is sent.
+STREAM_CHUNK_BYTES = 32 * 1024
 PONG, OK = b"+PONG\r\n", b"+OK\r\n"
 
 
@@ -519,7 +520,7 @@
         if slot.reply:
             out.append(slot.reply)
             slot.reply = b""
-        if piece := response_stream.read(STREAM_CHUNK_BYTES):
+        if piece := response_stream.read(min(STREAM_CHUNK_BYTES, response_stream.window_bytes)):
             out.append(piece)
         if response_stream.buffered_bytes or not response_stream.complete:
             return False
--- a/badgeryoke/gateway/response_stream.py
+++ b/badgeryoke/gateway/response_stream.py
@@ -43,6 +43,11 @@
         """Whether the upstream has to stop reading from the server for now."""
         return self.buffered_bytes >= self._budget.window_bytes and not self.aborted
 
+    @property
+    def window_bytes(self) -> int:
+        """The number of bytes that each side may buffer of this value at present."""
+        return self._budget.window_bytes
+
     def append(self, piece: bytes) -> None:
         """Append the next bytes of the value."""
         if not self.aborted:
--- a/tests/gateway/resp/test_slow_readers.py
+++ b/tests/gateway/resp/test_slow_readers.py
@@ -14,6 +14,7 @@
 from badgeryoke.gateway.graceful_shutdown import ShutdownEvent
 from badgeryoke.gateway.resp.client_connection import MAX_PIPELINED_REQUESTS, RespClientConnection
 from badgeryoke.gateway.resp.listener import STREAM_STALL_TIMEOUT_S, WRITE_STALL_TIMEOUT_S
+from badgeryoke.gateway.response_stream import MIN_WINDOW_BYTES
 from tests.support.running import run_test, until
 from tests.support.stand_ins import one_gateway, query
 
@@ -161,6 +162,21 @@
     run_test(test)
 
 
+def test_where_many_values_are_streamed_each_client_is_handed_a_smaller_piece() -> None:
+    """Regression: each client's stream held 32 KiB; with hundreds their sum passed its bound, and values were cut."""
+
+    async def test() -> None:
+        async with slow_client(small_buffers=True) as (app, client_socket, connection):
+            app.parts.stream_budget.open_streams += 10_000
+            received = b""
+            while len(received) < len(RESPONSE):
+                received += await receive(client_socket, 4096)
+                assert len(connection._stream._write_buffer) <= MIN_WINDOW_BYTES + len(b"$300000\r\n\r\n")
+            assert received == RESPONSE
+
+    run_test(test)
+
+
 def test_the_end_of_a_streamed_value_is_not_cut_off() -> None:
     """Regression: with its last bytes in the stream, a value no longer counted as one, nor the client as reading."""
 
