Answer a command that waits for room at a drain, and end idle clients that read nothing

A connection whose client had not received what the system held never counted as idle, so that one which reads nothing kept its descriptor.

--- a/badgeryoke/gateway/resp/client_connection.py
+++ b/badgeryoke/gateway/resp/client_connection.py
@@ -204,14 +204,16 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether no request is in flight, being received or being answered: the connection may be closed."""
+        """Whether the connection may be closed at once: it is at rest, and its client has received everything."""
+        return self.is_at_rest and not self._is_behind
+
+    @property
+    def is_at_rest(self) -> bool:
+        """Whether no request is in flight or being received, and the system has taken all responses."""
         if self._stream.closed() or self._slots or self._mailbox or not self._parser.is_idle or self._closing:
             return False
         return (
-            not self._stream.writing()
-            and not self._has_unhandled_data
-            and not has_unread_data(self._stream)
-            and not self._is_behind
+            not self._stream.writing() and not self._has_unhandled_data and not has_unread_data(self._stream)
         )
 
     @property
@@ -277,7 +279,10 @@
         """
         if self._slots or self._is_behind:
             self.drain_now()
-        elif self._awaits_reservation or (not self._has_unhandled_data and not has_unread_data(self._stream)):
+        elif self._awaits_reservation:
+            if not self._may_have_sent_command:
+                self._stream.close()
+        elif not self._has_unhandled_data and not has_unread_data(self._stream):
             self._stream.close()
 
     def reject(self) -> None:
@@ -556,7 +561,7 @@
     @property
     def _may_hold_requests(self) -> bool:
         """Whether bytes that were received may be requests which have to be answered before the close."""
-        if self._has_unhandled_data:
+        if self._has_unhandled_data or (self._reservation is not None and self._may_have_sent_command):
             return True
         if self._grace_expired and self._loop.time() >= self._reads_until_s:
             return False
@@ -591,15 +596,20 @@
         """
         if self._awaits_reservation:
             unread, self._unread_bytes = self._unread_bytes, unread_bytes(self._stream)
-            # The stream may have read one more chunk.
-            received_bytes = self._parser.buffered_bytes + READ_CHUNK_BYTES + self._unread_bytes
-            if unread != self._unread_bytes or received_bytes >= self._parser.announced_bytes:
+            if unread != self._unread_bytes or self._may_have_sent_command:
                 self.command_started_s = self._loop.time()
         if self.write_stalled_since_s == math.inf:
             return
         if unacknowledged_bytes(self._stream) != self._undelivered_bytes:
             self._restart_stall_clock()
 
+    @property
+    def _may_have_sent_command(self) -> bool:
+        """Whether the rest of a command that waits for room may be in the socket."""
+        # The stream may have read one more chunk.
+        received_bytes = self._parser.buffered_bytes + READ_CHUNK_BYTES + unread_bytes(self._stream)
+        return received_bytes >= self._parser.announced_bytes
+
     def drain(self) -> None:
         """Close between requests, once every accepted request is answered."""
         self.post(self._drain)
--- a/badgeryoke/gateway/resp/listener.py
+++ b/badgeryoke/gateway/resp/listener.py
@@ -215,7 +215,7 @@
                 log.info("client given up, it reads nothing: %s", connection.undelivered_text)
                 connection.abort()
             elif (
-                now - connection.idle_since_s >= IDLE_TIMEOUT_S and connection.is_idle
+                now - connection.idle_since_s >= IDLE_TIMEOUT_S and connection.is_at_rest
             ) or now - connection.command_started_s >= COMMAND_TIMEOUT_S:
                 connection.close_incomplete()
         if buffered_bytes > self._max_buffered_bytes:
--- a/tests/gateway/resp/test_request_budget.py
+++ b/tests/gateway/resp/test_request_budget.py
@@ -119,6 +119,31 @@
     run_with_small_memory(play)
 
 
+def test_a_drain_answers_a_command_that_waits_for_room() -> None:
+    """Regression: 1 s after the grace period the connection closed over a command that was in the socket."""
+
+    async def play(app: GatewayApplication) -> None:
+        listener = app.parts.resp_listener
+        blocker = RequestReservation(10**9, lambda: None)
+        listener._request_budget.reserve(blocker)
+        client_socket = socket.create_connection(app.lifecycle.address[:2])
+        client_socket.sendall(query("r1", "load-send", key="k1", body=BODY))
+        await until(lambda: waiting(app))
+        [connection] = waiting(app)
+        connection.drain_now()
+        await until(lambda: connection._grace_expired)
+        connection._reads_until_s = 0.0
+        connection.deliver(connection._wake_up)
+        connection.close_incomplete()  # as by the sweep, where memory is short
+        assert not connection._output_ended and not connection._stream.closed()
+        listener._request_budget.release(blocker)
+        client_socket.setblocking(False)
+        assert (await asyncio.get_running_loop().sock_recv(client_socket, 100)).startswith(b"-BUSY ")
+        client_socket.close()
+
+    run_with_small_memory(play)
+
+
 def test_a_short_command_needs_no_room() -> None:
     async def play(app: GatewayApplication) -> None:
         app.parts.resp_listener._request_budget.reserve(RequestReservation(10**9, lambda: None))
--- a/tests/gateway/resp/test_slow_readers.py
+++ b/tests/gateway/resp/test_slow_readers.py
@@ -13,7 +13,7 @@
 from badgeryoke.gateway.connecting import unacknowledged_bytes
 from badgeryoke.gateway.graceful_shutdown import ShutdownEvent
 from badgeryoke.gateway.resp.client_connection import MAX_PIPELINED_REQUESTS, RespClientConnection
-from badgeryoke.gateway.resp.listener import STREAM_STALL_TIMEOUT_S, WRITE_STALL_TIMEOUT_S
+from badgeryoke.gateway.resp.listener import IDLE_TIMEOUT_S, STREAM_STALL_TIMEOUT_S, WRITE_STALL_TIMEOUT_S
 from badgeryoke.gateway.response_stream import MIN_WINDOW_BYTES
 from tests.support.running import run_test, until
 from tests.support.stand_ins import one_gateway, query
@@ -100,6 +100,23 @@
     run_test(test)
 
 
+def test_a_client_that_reads_nothing_does_not_keep_an_idle_connection() -> None:
+    """Regression: a connection whose client was behind never counted as idle, and was never closed."""
+
+    async def test() -> None:
+        async with slow_client() as (app, _, connection):
+            await until_handed_over(connection)
+            connection.idle_since_s -= IDLE_TIMEOUT_S
+            app.parts.resp_listener.sweep()
+            await until(lambda: connection._awaits_delivery)
+            while app.parts.resp_listener.connections:
+                connection.write_stalled_since_s -= STREAM_STALL_TIMEOUT_S
+                app.parts.resp_listener.sweep()
+                await asyncio.sleep(0)
+
+    run_test(test)
+
+
 def test_requests_in_the_socket_are_answered_when_the_grace_period_ends() -> None:
     """Regression: behind the first requests that were answered at once, the rest were dropped in the close."""
     count = 4 * MAX_PIPELINED_REQUESTS
