Collect garbage before the tests of KNOWN-RED.txt parse their files

tests/project/test_known_red.py::test_only_listed_tests_may_fail failed in 2 of 3 runs of pytest tests/gateway tests/project: SystemError, AST constructor recursion depth mismatch, in ast.parse. A collection there ran the finalizer of a StreamWriter that an earlier test had left open. No check is changed. The writers left open stay to be closed. The file's tests pass; the run that failed was not repeated yet.

--- a/tests/project/test_known_red.py
+++ b/tests/project/test_known_red.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 from pathlib import Path
 
 import pytest
@@ -21,8 +22,13 @@
 
 @pytest.fixture(autouse=True)
 def no_plugins(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Load no plugins besides pytest's own, which each run would have to load again."""
+    """Load no plugins besides pytest's own, which each run would have to load again.
+
+    What earlier tests left is collected first: CPython 3.11 fails with "AST constructor recursion depth mismatch"
+    where a collection within ast.parse runs a finalizer written in Python, such as that of a StreamWriter.
+    """
     monkeypatch.setenv("PYTEST_DISABLE_PLUGIN_AUTOLOAD", "1")
+    gc.collect()
 
 
 def run_pytest(
